SIGHUP rereads the configuration and moves discovery and notices at once

Checked: the JVM's own handler of SIGHUP runs the shutdown hook, so drain() in Main ended the process as for SIGTERM. Ruled out: the drain itself (planned restarts were clean before).

At fault: Main.wire installed no handler; Discovery.address and Notices.address were final.

Now Reload reads the file off the I/O thread; a usable one makes Discovery and Notices drop what is out at the old address and ask the new one at once. A half-written or useless file keeps the old configuration, logged.

ReloadTest fails without the handler (the program ends).

--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -98,6 +98,11 @@
             certify(io, events, eventFront, servers);
         }
         System.err.println("serving on " + server.address() + ", " + relay.held() + " messages taken back");
+        Reload.onHangUp(System.getenv(), fresh -> io.run(() -> {
+            discovery.move(fresh.discovery());
+            front.move(fresh.discovery());
+            System.err.println("configuration read again, discovery at " + fresh.discovery());
+        }));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(io, relay, front, servers), "drain"));
     }
 
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -10,17 +10,23 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** What this dispatcher is told at its start, by the RELAY variables and the file that one of them names. */
+/** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
+ *  SIGHUP. Where both name discovery the file counts, since it may have been replaced. */
 public record Config(InetSocketAddress listen, String discovery, Path state, long seed, long diskBytes,
                      SettingsMap settings, JsonNode known) {
 
     public static Config read(Map<String, String> variables) throws IOException {
         JsonNode json = new ObjectMapper().readTree(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
+        if (!json.isObject()) {
+            throw new IOException("the configuration is no JSON object");
+        }
+        String discovery = json.hasNonNull("discovery") ? json.get("discovery").asText() : told(variables, "RELAY_DISCOVERY");
+        address(discovery);   // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
         flatten("", json.path("settings"), paths);
         long seed = Long.parseUnsignedLong(json.path("seed").asText("1"), 16);
         long disk = (long) (json.path("limits").path("disk_mb").asDouble(3) * 1_000_000);
-        return new Config(address(told(variables, "RELAY_LISTEN")), told(variables, "RELAY_DISCOVERY"),
+        return new Config(address(told(variables, "RELAY_LISTEN")), discovery,
                 Path.of(told(variables, "RELAY_STATE")), seed, disk, new SettingsMap(paths), json.path("known"));
     }
 
@@ -34,6 +40,9 @@
 
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("'" + text + "' is no address:port");
+        }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -24,10 +24,11 @@
     private final ObjectMapper json = new ObjectMapper();
     private final Io io;
     private final Connections connections;
-    private final String address;
+    private String address;
     private final Hosts hosts;
     private final Relay relay;
     private long version;
+    private Connections.Request out;   // the one call under way, or none
 
     public Discovery(Io io, Connections connections, String address, Hosts hosts, Relay relay) {
         this.io = io;
@@ -43,11 +44,39 @@
         relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.path("servers")));
     }
 
+    /** Asks for news, unless a call is out. */
     public void watch() {
-        ClientRequest request = new ClientRequest().setMethod(Methods.GET)
-                .setPath("/registry/instances?after=" + version + "&wait_ms=" + WAIT_MS);
-        long by = io.clock.now() + WAIT_MS * Clock.MS + ANSWER_NS;
-        connections.send(address, request, new byte[0], io.clock.now() + ANSWER_NS, by, this::told);
+        if (out == null) {
+            ask("?after=" + version + "&wait_ms=" + WAIT_MS, io.clock.now() + WAIT_MS * Clock.MS + ANSWER_NS);
+        }
+    }
+
+    /** Discovery is elsewhere from now on: what is out at the old address counts for nothing, and the new one, whose
+     *  versions may be others, is asked for all it has. */
+    public void move(String to) {
+        if (to.equals(address)) {
+            return;
+        }
+        Connections.Request old = out;
+        out = null;
+        if (old != null) {
+            old.abandon();
+        }
+        connections.closeIdle(address);
+        address = to;
+        ask("", io.clock.now() + ANSWER_NS);
+    }
+
+    private void ask(String query, long by) {
+        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/registry/instances" + query);
+        Connections.Request[] own = new Connections.Request[1];
+        own[0] = connections.send(address, request, new byte[0], io.clock.now() + ANSWER_NS, by, reply -> {
+            if (out == own[0]) {
+                out = null;
+                told(reply);
+            }
+        });
+        out = own[0];
     }
 
     private void told(Reply reply) {
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/platform/Notices.java
@@ -22,10 +22,11 @@
 
     private final Io io;
     private final Connections connections;
-    private final String address;
+    private String address;
     private final Relay relay;
     private final Map<String, String> owed = new LinkedHashMap<>();
-    private boolean out;
+    private boolean out;               // a post is under way, or about to be
+    private Connections.Request request;
 
     Notices(Io io, Connections connections, String address, Relay relay) {
         this.io = io;
@@ -42,6 +43,18 @@
         }
     }
 
+    /** Notices go elsewhere from now on, those not yet acknowledged at once. */
+    void move(String to) {
+        if (to.equals(address)) {
+            return;
+        }
+        connections.closeIdle(address);
+        address = to;
+        if (out) {
+            post();
+        }
+    }
+
     /** Notices not yet acknowledged. */
     int owed() {
         return owed.size();
@@ -54,6 +67,11 @@
     }
 
     private void post() {
+        Connections.Request old = request;
+        request = null;
+        if (old != null) {
+            old.abandon();
+        }
         List<String> ids = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
         owed.entrySet().stream().limit(MOST).forEach(e -> {
@@ -61,8 +79,14 @@
             lines.append(e.getValue());
         });
         long by = io.clock.now() + ANSWER_NS;
-        ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/status");
-        connections.send(address, request, lines.toString().getBytes(StandardCharsets.UTF_8), by, by, r -> told(ids, r));
+        ClientRequest post = new ClientRequest().setMethod(Methods.POST).setPath("/status");
+        Connections.Request[] own = new Connections.Request[1];
+        own[0] = connections.send(address, post, lines.toString().getBytes(StandardCharsets.UTF_8), by, by, r -> {
+            if (request == own[0]) {
+                told(ids, r);
+            }
+        });
+        request = own[0];
     }
 
     private void told(List<String> ids, Reply reply) {
@@ -75,7 +99,12 @@
         if (out && heard) {
             post();
         } else if (out) {
-            io.at(io.clock.now() + AGAIN_NS, this::post);
+            Connections.Request failed = request;
+            io.at(io.clock.now() + AGAIN_NS, () -> {
+                if (request == failed) {   // else a move has posted already
+                    post();
+                }
+            });
         }
     }
 }
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -115,6 +115,11 @@
         ready = false;
     }
 
+    /** The platform's place for notices is elsewhere from now on. */
+    public void move(String platform) {
+        notices.move(platform);
+    }
+
     public int owed() {
         return notices.owed();
     }
--- /dev/null
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -0,0 +1,62 @@
+package elderseam.scenario;
+
+import static elderseam.scenario.Scenario.play;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A new configuration under load: SIGHUP. Without a handler the process ends. */
+class ReloadTest {
+    private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m;";
+
+    @TempDir
+    Path folder;
+
+    /** Discovery and owed notices move at once, though the old place stays silent; connections and calls go on. */
+    @Test
+    void discoveryMoves() throws Exception {
+        play(folder, """
+                platform watched 60000
+                platform deaf 100000
+                c send POST /rent-payment; {to} X-Txn: pay
+                c expect 202
+                h1 expect pay
+                h1 close
+                c2 send POST /status-update; X-Addressing: dest=2; X-Remaining: 9000m; X-Txn: held
+                c2 expect 202
+                h2 expect held
+                platform wait quiet 200
+                platform move
+                platform deaf 0
+                relay hangup
+                relay wait reload
+                platform expect pay; undeliverable
+                platform send h3 SERVING
+                h1 close all
+                c send POST /status-update; {to} X-Txn: say
+                c expect 202
+                h3 expect say
+                h3 send 200
+                h2 send 200
+                h2 wait quiet 200
+                """.replace("{to}", TO));
+    }
+
+    /** A half-written file, or one without an address, leaves everything as it was. */
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"name\":\"n1\",\"discovery\":\"127.0.0.1:", "{\"discovery\":\"nowhere\"}"})
+    void anUnusableFileChangesNothing(String words) throws Exception {
+        play(folder, """
+                platform watched 60000
+                relay hangup {words}
+                relay wait kept
+                platform send h3 SERVING
+                platform watched 200
+                c send POST /rent-payment; {to} X-Txn: pay
+                c expect 202
+                """.replace("{to}", TO).replace("{words}", words));
+    }
+}
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -37,7 +37,10 @@
  * close      a client, host or the platform resets its connections; "close all" of a host, and the platform, stop
  *            listening too (platform start: again); relay: kill, term
  * deaf N     platform: the next N notices get 503      watched MS   the next watch came so soon after an answer
- * wait       for: closed (the other side ends the connection), quiet MS (nothing comes there), start, drain (begun), exit CODE
+ * move       platform: listens elsewhere, and no longer answers on what was opened before
+ * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
+ * wait       for: closed (the other side ends the connection), quiet MS (nothing comes there), start, drain (begun),
+ *            reload (done), kept (the old configuration), exit CODE
  * </pre>
  */
 final class Scenario implements AutoCloseable {
@@ -48,7 +51,7 @@
     private final Map<String, Wire.Link> links = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
-    private final BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    private volatile BlockingQueue<String> changes = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> gaps = new LinkedBlockingQueue<>();   // ms from an answer to the next watch
     private final List<Wire.Link> platformLinks = new ArrayList<>();
     private ServerSocket platform;
@@ -141,11 +144,18 @@
     }
 
     private void relay(String verb, String words) throws Exception {
+        if (verb.equals("hangup")) {
+            configure(words);
+            new ProcessBuilder("sh", "-c", "kill -HUP " + program.pid()).start().waitFor();
+            return;
+        }
         switch (verb + " " + words) {
             case "close kill" -> program.destroyForcibly().waitFor();
             case "close term" -> program.toHandle().destroy();   // the process's own destroy() closes its log, too
             case "wait start" -> start();
             case "wait drain" -> front('d');
+            case "wait reload" -> front('r');
+            case "wait kept" -> front('k');
             default -> {
                 assertTrue(program.waitFor(Wire.PATIENCE_S, TimeUnit.SECONDS), "still running");
                 assertEquals("wait exit " + program.exitValue(), verb + " " + words);
@@ -163,6 +173,14 @@
                     link.reset();
                 }
             }
+            case "move" -> {
+                platform.close();
+                synchronized (links) {
+                    platformLinks.clear();
+                }
+                changes = new LinkedBlockingQueue<>();
+                listen(0);
+            }
             case "start" -> listen(platform.getLocalPort());
             case "watched" -> {
                 Long gap = gaps.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
@@ -272,6 +290,9 @@
                 Wire.Link link;
                 synchronized (links) {
                     link = of[0];
+                    if (!platformLinks.contains(link)) {
+                        return;
+                    }
                 }
                 if (message.startsWith("POST /status")) {
                     if (deaf-- > 0) {
@@ -310,10 +331,7 @@
 
     /** Starts the program and waits until it serves. */
     void start() throws Exception {
-        String settings = new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
-        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{"
-                + "\"disk_mb\":" + diskMb + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
-                + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + settings + "}");
+        configure("");
         Files.writeString(folder.resolve("events.properties"), "listen = 127.0.0.1:0\nremember_s = 60\n" + events);
         ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
@@ -324,8 +342,8 @@
         links.clear();
         program = b.redirectErrorStream(true).start();
         CompletableFuture<String> serving = new CompletableFuture<>(), eventing = new CompletableFuture<>(),
-                draining = new CompletableFuture<>();
-        fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining));
+                draining = new CompletableFuture<>(), reloaded = new CompletableFuture<>(), kept = new CompletableFuture<>();
+        fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept));
         BufferedReader log = program.inputReader();
         Thread reader = new Thread(() -> {
             try (Stream<String> lines = log.lines()) {
@@ -335,6 +353,10 @@
                         eventing.complete(line.substring(11));
                     } else if (line.equals("draining")) {
                         draining.complete(line);
+                    } else if (line.startsWith("configuration read again")) {
+                        reloaded.complete(line);
+                    } else if (line.startsWith("configuration kept")) {
+                        kept.complete(line);
                     } else if (line.startsWith("serving on /")) {
                         serving.complete(line.substring(12, line.indexOf(',')));
                     }
@@ -349,6 +371,15 @@
         front('c');
     }
 
+    /** Writes the configuration, or these words in its place. */
+    private void configure(String words) throws IOException {
+        String settings = new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
+        Files.writeString(folder.resolve("config.json"), !words.isEmpty() ? words
+                : "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + Wire.address(platform)
+                + "\",\"limits\":{\"disk_mb\":" + diskMb + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
+                + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + settings + "}");
+    }
+
     Path state() {
         return folder.resolve("state");
     }
--- a/src/test/java/elderseam/scenario/Wire.java
+++ b/src/test/java/elderseam/scenario/Wire.java
@@ -53,7 +53,9 @@
         }
 
         void reset() throws IOException {
-            socket.setSoLinger(true, 0);
+            if (!socket.isClosed()) {
+                socket.setSoLinger(true, 0);
+            }
             socket.close();
         }
     }
