Downstream connections are bounded from the limits and closed in time

Ruled out: upstream connections (91 over both nodes).

Now Limits shares out the descriptors; Downstreams gives each connection a time of its own and lets a new one take the place of a silent or idle one; bodies being read share a bound; framing that can be read twice is refused.

--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -14,6 +14,7 @@
 import elderseam.platform.Config;
 import elderseam.platform.Discovery;
 import elderseam.platform.Hosts;
+import elderseam.platform.Limits;
 import elderseam.platform.PlatformFront;
 import elderseam.platform.PlatformUpstream;
 import elderseam.sim.Host;
@@ -29,7 +30,7 @@
 public final class Main {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
-    private static final int MOST_CLIENTS = 350, MOST_EVENT_CLIENTS = 64;
+    private static final int MOST_EVENT_CLIENTS = 64;
     private static final long LOOK_NS = 20 * Clock.MS;
 
     private Main() {}
@@ -64,7 +65,7 @@
         Clock clock = new Clock();
         Config config = Config.read(System.getenv());
         EventConfig events = EventConfig.read(Path.of(eventsFile));
-        Journal journal = new Journal(config.state(), config.diskBytes(), clock);
+        Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
         Io io = new Io(clock);
         io.run(() -> {
             try {
@@ -80,8 +81,10 @@
         var settings = config.settings().settings();
         Relay relay = new Relay(settings, config.seed(), journal, io.clock, io::at);
         Hosts hosts = new Hosts(config.settings());
-        Connections upstream = new Connections(io, settings.connections().idleNs() * 4 / 5);
-        Connections platform = new Connections(io, settings.connections().idleNs() * 4 / 5);
+        Limits limits = config.limits();
+        long idleNs = settings.connections().idleNs() * 4 / 5;
+        Connections upstream = new Connections(io, idleNs, limits.upstream());
+        Connections platform = new Connections(io, idleNs, Limits.PLATFORM);
         PlatformFront front = new PlatformFront(io, platform, config.discovery(), relay, config.settings());
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         EventFront eventFront = new EventFront(io.clock, relay, config.settings(), events.rememberNs());
@@ -90,12 +93,14 @@
         relay.onWatch(discovery::watch);
         discovery.known(config.known());
         relay.restore();
-        Server server = new Server(io, config.listen(), PlatformFront.MOST_BODY, MOST_CLIENTS, null, front::handle);
+        int eventClients = events.listen().isEmpty() ? 0 : Math.min(MOST_EVENT_CLIENTS, limits.downstream() / 4);
+        Server server = new Server(io, config.listen(), PlatformFront.MOST_BODY, limits.downstream() - eventClients,
+                limits.reading(), null, front::handle);
         List<Server> servers = new ArrayList<>(List.of(server));
         if (!events.listen().isEmpty() && events.directory().isEmpty()) {
-            listen(io, events, null, eventFront, servers);
+            listen(io, events, eventClients, limits, null, eventFront, servers);
         } else if (!events.listen().isEmpty()) {
-            certify(io, events, eventFront, servers);
+            certify(io, events, eventClients / 2, limits, eventFront, servers);
         }
         System.err.println("serving on " + server.address() + ", " + relay.held() + " messages taken back");
         Reload.onHangUp(System.getenv(), fresh -> io.run(() -> {
@@ -106,9 +111,9 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(io, relay, front, servers), "drain"));
     }
 
-    private static Server listen(Io io, EventConfig events, SSLContext context, EventFront front, List<Server> servers)
-            throws IOException {
-        Server server = new Server(io, Config.address(events.listen()), EventFront.MOST_BODY, MOST_EVENT_CLIENTS, context,
+    private static Server listen(Io io, EventConfig events, int most, Limits limits, SSLContext context, EventFront front,
+                                 List<Server> servers) throws IOException {
+        Server server = new Server(io, Config.address(events.listen()), EventFront.MOST_BODY, most, limits.reading(), context,
                 front::handle);
         servers.add(server);
         System.err.println("events on " + server.address());
@@ -116,13 +121,14 @@
     }
 
     /** The events' listener opens with its first certificate, and gets each later one. */
-    private static void certify(Io io, EventConfig events, EventFront front, List<Server> servers) throws IOException {
+    private static void certify(Io io, EventConfig events, int most, Limits limits, EventFront front, List<Server> servers)
+            throws IOException {
         Server[] secure = new Server[1];
         Certificates certificates = new Certificates(events.directory(), events.names(), events.folder(),
                 context -> io.run(() -> {
                     try {
                         if (secure[0] == null) {
-                            secure[0] = listen(io, events, context, front, servers);
+                            secure[0] = listen(io, events, most, limits, context, front, servers);
                         } else {
                             secure[0].renew(context);
                         }
@@ -130,7 +136,7 @@
                         System.err.println("events: " + e);
                     }
                 }));
-        servers.add(new Server(io, Config.address(events.challenges()), 1 << 10, MOST_EVENT_CLIENTS, null,
+        servers.add(new Server(io, Config.address(events.challenges()), 1 << 10, most, limits.reading(), null,
                 certificates::challenge));
         certificates.start();
     }
--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/acme/Authority.java
@@ -112,8 +112,8 @@
     public Authority(Io io, InetSocketAddress address, int challengePort) throws IOException {
         this.io = io;
         this.challengePort = challengePort;
-        this.connections = new Connections(io, 1_000 * Clock.MS);
-        this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, null, this::handle);
+        this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS);
+        this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
     }
 
     public X509Certificate root() {
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -14,6 +14,7 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -30,7 +31,6 @@
  */
 public final class Connections {
     private static final int MOST_BODY = 1 << 20;
-    private static final int MOST_OPEN = 500;          // of 1,024 descriptors, with those still connecting
 
     /** An open connection: the request on it, or since when it stands idle. */
     private static final class Link {
@@ -45,13 +45,15 @@
 
     private final Io io;
     private final long idleNs;
-    private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
-    private int open;
+    private final int most;
+    private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
+    private int open;                                                     // with those still connecting
 
-    /** {@code idleNs}: no connection stands idle for longer. */
-    public Connections(Io io, long idleNs) {
+    /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once. */
+    public Connections(Io io, long idleNs, int most) {
         this.io = io;
         this.idleNs = idleNs;
+        this.most = most;
     }
 
     /** Closes what stands idle to a host. */
@@ -76,14 +78,29 @@
 
     private Link takeIdle(String address) {
         ArrayDeque<Link> kept = idle.get(address);
-        while (kept != null && !kept.isEmpty()) {
+        Link found = null;
+        while (kept != null && found == null && !kept.isEmpty()) {
             Link link = kept.pollLast();
             if (link.connection.isOpen() && io.clock.now() - link.since < idleNs) {
-                return link;
+                found = link;
+            } else {
+                close(link.connection);
             }
-            close(link.connection);
         }
-        return null;
+        idle.computeIfPresent(address, (a, left) -> left.isEmpty() ? null : left);
+        return found;
+    }
+
+    /** Closes what has stood idle longest, to any host; false where nothing does. */
+    private boolean makeRoom() {
+        String longest = idle.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
+                .map(Map.Entry::getKey).orElse(null);
+        if (longest == null) {
+            return false;
+        }
+        close(idle.get(longest).pollFirst().connection);
+        idle.computeIfPresent(longest, (a, kept) -> kept.isEmpty() ? null : kept);
+        return true;
     }
 
     private void keep(String address, Link link) {
@@ -94,6 +111,7 @@
             ArrayDeque<Link> kept = idle.get(address);
             if (link.since == since && kept != null && kept.remove(link)) {
                 close(link.connection);
+                idle.computeIfPresent(address, (a, left) -> left.isEmpty() ? null : left);
             }
         });
     }
@@ -149,7 +167,7 @@
                 io.run(() -> connected(kept));
                 return;
             }
-            if (open >= MOST_OPEN) {
+            if (open >= most && !makeRoom()) {
                 io.run(() -> finish(Status.BROKEN));
                 return;
             }
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -2,11 +2,13 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
@@ -14,6 +16,7 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import javax.net.ssl.SSLContext;
+import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -41,38 +44,40 @@
         void handle(Request request, Answerer answerer);
     }
 
-    private static final int MOST_HEADER = 16 << 10;
+    private static final int MOST_HEADER = 16 << 10, HEAD_MS = 2_400;
+    private static final int ACCEPTING = 8;   // more that are accepted, and about to take the place of others
 
     private final HttpOpenListener listener;
     private final AcceptingChannel<? extends StreamConnection> accepting;
     private final UndertowXnioSsl ssl;
     private final int mostBody;
     private final Handler handler;
-    private int unanswered;
+    private final Downstreams downstreams;
     private boolean closing;
 
     /** Serves TLS where a context is given, else plain HTTP. */
-    public Server(Io io, InetSocketAddress address, int mostBody, int mostConnections, SSLContext context,
+    public Server(Io io, InetSocketAddress address, int mostBody, int mostConnections, int mostReading, SSLContext context,
                   Handler handler) throws IOException {
         this.mostBody = mostBody;
         this.handler = handler;
+        this.downstreams = new Downstreams(io, mostConnections, mostReading);
         this.listener = new HttpOpenListener(io.buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER)
                 .set(UndertowOptions.MAX_HEADERS, 64)
                 .set(UndertowOptions.MAX_ENTITY_SIZE, (long) mostBody)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ENABLE_STATISTICS, false)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
                 .set(UndertowOptions.RECORD_REQUEST_START_TIME, false).getMap());
         listener.setRootHandler(new HttpContinueReadHandler(root()));   // clients may ask before a long body
         OptionMap options = OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
-                .set(Options.BACKLOG, 256).set(Options.CONNECTION_HIGH_WATER, mostConnections)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections).getMap();
+                .set(Options.BACKLOG, 256).set(Options.CONNECTION_HIGH_WATER, mostConnections + ACCEPTING)
+                .set(Options.CONNECTION_LOW_WATER, mostConnections + ACCEPTING).getMap();
+        ChannelListener<StreamConnection> opened = downstreams.guarding(listener);
         this.ssl = context == null ? null : new UndertowXnioSsl(io.worker.getXnio(), OptionMap.EMPTY, io.buffers, context);
         this.accepting = ssl == null
-                ? io.worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(listener), options)
-                : ssl.createSslConnectionServer(io.worker, address, ChannelListeners.openListenerAdapter(listener), options);
+                ? io.worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(opened), options)
+                : ssl.createSslConnectionServer(io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
         accepting.resumeAccepts();
     }
 
@@ -87,20 +92,71 @@
 
     private HttpHandler root() {
         return exchange -> {
-            unanswered++;
+            Downstreams.Downstream d = downstreams.of(channel(exchange));
+            if (d == null) {   // closed meanwhile
+                IoUtils.safeClose(exchange.getConnection());
+                return;
+            }
             exchange.addExchangeCompleteListener((x, next) -> {
-                unanswered--;
+                d.idle();
                 next.proceed();
             });
-            exchange.getRequestReceiver().setMaxBufferSize(mostBody);
-            exchange.getRequestReceiver().receiveFullBytes((x, body) -> {
-                x.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> handle(x, body));
-            }, (x, e) -> answer(x, e instanceof io.undertow.io.Receiver.RequestToLargeException
-                    || e instanceof io.undertow.server.RequestTooBigException ? 413 : 400, Map.of(), ""));
+            long length = exchange.getRequestContentLength();
+            boolean room = d.reads(length < 0 ? mostBody : Math.min(length, mostBody));
+            if (!framed(exchange.getRequestHeaders())) {
+                refuse(exchange, 400);
+            } else if (length > mostBody) {
+                refuse(exchange, 413);
+            } else if (!room) {
+                refuse(exchange, 503);
+            } else {
+                exchange.getRequestReceiver().setMaxBufferSize(mostBody);
+                exchange.getRequestReceiver().receiveFullBytes((x, body) -> {
+                    d.asked();
+                    x.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> handle(x, body));
+                }, (x, e) -> refuse(x, e instanceof io.undertow.io.Receiver.RequestToLargeException
+                        || e instanceof io.undertow.server.RequestTooBigException ? 413 : 400));
+            }
         };
     }
 
+    private static StreamConnection channel(HttpServerExchange x) {
+        return ((AbstractServerConnection) x.getConnection()).getChannel();
+    }
+
+    /** Whether the length of the body is told once and plainly: two readings of it could hide a further request. */
+    private static boolean framed(HeaderMap headers) {
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH), encodings = headers.get(Headers.TRANSFER_ENCODING);
+        return lengths == null
+                ? encodings == null || encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked")
+                : encodings == null && lengths.size() == 1 && lengths.getFirst().matches("[0-9]{1,18}");
+    }
+
+    /** Whether more has come than the one request: its length was wrong, or a further one was sent before the answer. */
+    private static boolean surplus(HttpServerExchange x) {
+        AbstractServerConnection c = (AbstractServerConnection) x.getConnection();
+        if (c.getExtraBytes() != null && c.getExtraBytes().getBuffer().hasRemaining()) {
+            return true;
+        }
+        try {
+            return c.getOriginalSourceConduit().read(ByteBuffer.allocate(1)) > 0;
+        } catch (IOException e) {
+            return false;   // gone, as the answer will find
+        }
+    }
+
+    /** Answers what can't be served, and ends the connection: where the next request would begin is unknown. */
+    private void refuse(HttpServerExchange x, int code) {
+        x.setPersistent(false);
+        x.getResponseHeaders().put(Headers.CONNECTION, "close");
+        answer(x, code, Map.of(), "");
+    }
+
     private void handle(HttpServerExchange x, byte[] body) {
+        if (surplus(x)) {
+            refuse(x, 400);
+            return;
+        }
         Request r = new Request(x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body);
         try {
             handler.handle(r, (code, headers, text) -> answer(x, code, headers, text));
@@ -113,6 +169,11 @@
     }
 
     private void answer(HttpServerExchange x, int code, Map<String, String> headers, String text) {
+        Downstreams.Downstream d = downstreams.of(channel(x));
+        if (d == null || x.isResponseStarted()) {
+            return;
+        }
+        d.answered();
         x.setStatusCode(code);
         headers.forEach((name, value) -> x.getResponseHeaders().put(new HttpString(name), value));
         if (closing) {
@@ -128,7 +189,7 @@
 
     /** Requests read, or being read, and not answered. */
     public int unanswered() {
-        return unanswered;
+        return downstreams.unanswered();
     }
 
     /** Takes no new connections. */
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -12,7 +12,7 @@
 
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
  *  SIGHUP. Where both name discovery the file counts, since it may have been replaced. */
-public record Config(InetSocketAddress listen, String discovery, Path state, long seed, long diskBytes,
+public record Config(InetSocketAddress listen, String discovery, Path state, long seed, Limits limits,
                      SettingsMap settings, JsonNode known) {
 
     public static Config read(Map<String, String> variables) throws IOException {
@@ -25,9 +25,11 @@
         Map<String, String> paths = new HashMap<>();
         flatten("", json.path("settings"), paths);
         long seed = Long.parseUnsignedLong(json.path("seed").asText("1"), 16);
-        long disk = (long) (json.path("limits").path("disk_mb").asDouble(3) * 1_000_000);
+        JsonNode told = json.path("limits");
+        Limits limits = new Limits((long) (told.path("disk_mb").asDouble(3) * 1_000_000),
+                told.path("sockets").asInt(1_024), told.path("memory_mb").asInt(192));
         return new Config(address(told(variables, "RELAY_LISTEN")), discovery,
-                Path.of(told(variables, "RELAY_STATE")), seed, disk, new SettingsMap(paths), json.path("known"));
+                Path.of(told(variables, "RELAY_STATE")), seed, limits, new SettingsMap(paths), json.path("known"));
     }
 
     private static String told(Map<String, String> variables, String name) {
--- a/src/test/java/elderseam/acme/AcmeTest.java
+++ b/src/test/java/elderseam/acme/AcmeTest.java
@@ -69,11 +69,11 @@
         int port = freePort();
         Authority authority = new Authority(io, ANY, port);
         Certificates certificates = certificates(authority, "localhost");
-        new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024, 8, null,
+        new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024, 8, 1 << 20, null,
                 certificates::challenge);
         certificates.start();
         SSLContext context = contexts.poll(15, TimeUnit.SECONDS);
-        Server secure = new Server(io, ANY, 1024, 8, context, (r, to) -> to.answer(200, Map.of(), "safe"));
+        Server secure = new Server(io, ANY, 1024, 8, 1 << 20, context, (r, to) -> to.answer(200, Map.of(), "safe"));
 
         HttpResponse<String> answer = trusting(authority).send(HttpRequest.newBuilder(URI.create("https://localhost:" + secure.address().getPort()))
                         .build(), HttpResponse.BodyHandlers.ofString());
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -24,7 +24,7 @@
 
     ProgressTest() throws Exception {
         io = new Io(new Clock());
-        connections = new Connections(io, 1_000 * Clock.MS);
+        connections = new Connections(io, 1_000 * Clock.MS, 50);
     }
 
     private CompletableFuture<Reply> send(int port, int bytes, long connectMs) {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -32,6 +32,7 @@
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
  * send       a client: METHOD PATH; Header: value; ... | body ({64K}: a long one)    a host: CODE; Header: value | body
+ * raw        a client: these bytes, \r\n in words; none: it only connects
  *            platform: a change of the list, answering the watch, or fail, or mute (no answer)
  * expect     the next message there holds each of these parts (set apart by ;); platform: a notice
  * close      a client, host or the platform resets its connections; "close all" of a host, and the platform, stop
@@ -39,7 +40,7 @@
  * deaf N     platform: the next N notices get 503      watched MS   the next watch came so soon after an answer
  * move       platform: listens elsewhere, and no longer answers on what was opened before
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
- * wait       for: closed (the other side ends the connection), quiet MS (nothing comes there), start, drain (begun),
+ * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
  *            reload (done), kept (the old configuration), exit CODE
  * </pre>
  */
@@ -222,9 +223,11 @@
     private void client(String name, String verb, String words) throws Exception {
         switch (verb) {
             case "send" -> link(name).write(request(words));
+            case "raw" -> link(name).write(words.replace("\\r\\n", "\r\n").replace("{64K}", "x".repeat(64 << 10)));
             case "expect" -> holds(link(name).next(), words);
             case "close" -> links.remove(name).reset();
-            default -> assertEquals(Wire.ENDED, links.remove(name).next());
+            default -> assertEquals(Wire.ENDED, links.remove(name).read.poll(words.equals("closed")
+                    ? 1_000 * Wire.PATIENCE_S : Long.parseLong(words.substring(7)), TimeUnit.MILLISECONDS));
         }
     }
 
@@ -376,7 +379,7 @@
         String settings = new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
         Files.writeString(folder.resolve("config.json"), !words.isEmpty() ? words
                 : "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + Wire.address(platform)
-                + "\",\"limits\":{\"disk_mb\":" + diskMb + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
+                + "\",\"limits\":{\"sockets\":256,\"memory_mb\":32,\"disk_mb\":" + diskMb + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
                 + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + settings + "}");
     }
 
