Upstream answers are read by a strict reader of our own on XNIO, within bounds

At fault: Connections.begin/read on UndertowClient; PlatformUpstream.value, which took any number as a report; Hosts and idle connections by address.

Now Connections works on XNIO itself with AnswerReader: a spoilt answer has run unless its first line never came whole, 200 there is true, what follows an answer or an idle connection's silence ends the connection, a connect is cancelled at its time. Connections are kept by id and address, hosts that are gone are forgotten, nonsense in a report is no report.

--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -11,6 +11,7 @@
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Server;
+import elderseam.http.UpstreamHost;
 import elderseam.platform.Config;
 import elderseam.platform.Discovery;
 import elderseam.platform.Hosts;
@@ -30,7 +31,7 @@
 public final class Main {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
-    private static final int MOST_EVENT_CLIENTS = 64;
+    private static final int MOST_EVENT_CLIENTS = 64, MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
 
     private Main() {}
@@ -83,13 +84,13 @@
         Hosts hosts = new Hosts(config.settings());
         Limits limits = config.limits();
         long idleNs = settings.connections().idleNs() * 4 / 5;
-        Connections upstream = new Connections(io, idleNs, limits.upstream());
-        Connections platform = new Connections(io, idleNs, Limits.PLATFORM);
-        PlatformFront front = new PlatformFront(io, platform, config.discovery(), relay, config.settings());
+        Connections upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
+        Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
+        PlatformFront front = new PlatformFront(io, platform, discovery(config), relay, config.settings());
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         EventFront eventFront = new EventFront(io.clock, relay, config.settings(), events.rememberNs());
-        relay.front(EventFront.NUMBER, eventFront, new EventUpstream(upstream, hosts::address));
-        Discovery discovery = new Discovery(io, platform, config.discovery(), hosts, relay);
+        relay.front(EventFront.NUMBER, eventFront, new EventUpstream(upstream, hosts::host));
+        Discovery discovery = new Discovery(io, platform, discovery(config), hosts, relay);
         relay.onWatch(discovery::watch);
         discovery.known(config.known());
         relay.restore();
@@ -104,13 +105,17 @@
         }
         System.err.println("serving on " + server.address() + ", " + relay.held() + " messages taken back");
         Reload.onHangUp(System.getenv(), fresh -> io.run(() -> {
-            discovery.move(fresh.discovery());
-            front.move(fresh.discovery());
+            discovery.move(discovery(fresh));
+            front.move(discovery(fresh));
             System.err.println("configuration read again, discovery at " + fresh.discovery());
         }));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(io, relay, front, servers), "drain"));
     }
 
+    private static UpstreamHost discovery(Config config) {
+        return new UpstreamHost("discovery", config.discovery());
+    }
+
     private static Server listen(Io io, EventConfig events, int most, Limits limits, SSLContext context, EventFront front,
                                  List<Server> servers) throws IOException {
         Server server = new Server(io, Config.address(events.listen()), EventFront.MOST_BODY, most, limits.reading(), context,
--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/acme/Authority.java
@@ -5,14 +5,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import elderseam.core.Clock;
+import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Reply;
 import elderseam.http.Server;
 import elderseam.http.Server.Answerer;
 import elderseam.http.Server.Request;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.Methods;
+import elderseam.http.UpstreamHost;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -112,7 +112,7 @@
     public Authority(Io io, InetSocketAddress address, int challengePort) throws IOException {
         this.io = io;
         this.challengePort = challengePort;
-        this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS);
+        this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
         this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
     }
 
@@ -352,10 +352,9 @@
     private void challenge(int i, Authorization a, Account account, Answerer to) throws Problem {
         String expected = a.token + "." + thumbprint(account.key);
         if (a.status.equals("pending")) {
-            ClientRequest get = new ClientRequest().setMethod(Methods.GET)
-                    .setPath("/.well-known/acme-challenge/" + a.token);
             long by = io.clock.now() + VALIDATE_NS;
-            connections.send("127.0.0.1:" + challengePort, get, new byte[0], by, by, reply ->
+            UpstreamHost named = new UpstreamHost("localhost", "127.0.0.1:" + challengePort);
+            connections.send(named, Call.get("/.well-known/acme-challenge/" + a.token), by, by, reply ->
                     a.status = proves(reply, expected) ? "valid" : "invalid");
         }
         answer(to, 200, Map.of("Link", "<" + url("/authz/" + i) + ">;rel=\"up\""), challenge(i, a));
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -11,7 +11,6 @@
 import io.cloudevents.http.HttpMessageFactory;
 import io.cloudevents.jackson.JsonFormat;
 import io.cloudevents.rw.CloudEventRWException;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -220,8 +219,4 @@
             throw new UncheckedIOException(e);
         }
     }
-
-    static void headers(Outgoing o, HeaderMap into) {
-        o.headers.forEach((name, value) -> into.put(new io.undertow.util.HttpString(name), value));
-    }
 }
--- a/src/main/java/elderseam/cloudevents/EventUpstream.java
+++ b/src/main/java/elderseam/cloudevents/EventUpstream.java
@@ -5,43 +5,46 @@
 import elderseam.core.Upstream;
 import elderseam.core.UpstreamRequest;
 import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
+import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Reply;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.Methods;
+import elderseam.http.UpstreamHost;
 import java.util.function.Consumer;
-import java.util.function.UnaryOperator;
+import java.util.function.Function;
 
 /** Delivers events in binary mode to the upstream hosts of their destination. */
 public final class EventUpstream implements Upstream {
     private final Connections connections;
-    private final UnaryOperator<String> addresses;
+    private final Function<String, UpstreamHost> hosts;
 
-    /** {@code addresses}: where a host is reached. */
-    public EventUpstream(Connections connections, UnaryOperator<String> addresses) {
+    /** {@code hosts}: by their ids. */
+    public EventUpstream(Connections connections, Function<String, UpstreamHost> hosts) {
         this.connections = connections;
-        this.addresses = addresses;
+        this.hosts = hosts;
     }
 
     @Override
     public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Consumer<End> end) {
         EventCodec.Outgoing o = EventCodec.outgoing(m.body());
-        ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/events");
-        EventCodec.headers(o, request.getRequestHeaders());
-        return connections.send(addresses.apply(host), request, o.payload(), connectBy, answerBy,
-                r -> end.accept(r.answered() ? meaning(r) : End.unanswered(r.progress(), r.failure())))::abandon;
+        return connections.send(hosts.apply(host), new Call("POST", "/events", o.headers(), o.payload()), connectBy, answerBy,
+                r -> end.accept(meaning(r)))::abandon;
     }
 
     @Override
     public void closeIdle(String host) {
-        connections.closeIdle(addresses.apply(host));
+        connections.closeIdle(hosts.apply(host));
     }
 
-    /** 2xx: taken. 429 and 503: turned away unseen, perhaps with a wait. All else may have taken effect. */
+    /** 2xx, be it the first line of a spoilt answer: taken. 429 and 503: turned away unseen, perhaps with a wait. All
+     *  else may have taken effect. */
     static End meaning(Reply r) {
         if (r.code() / 100 == 2) {
-            return new End(r.progress(), Status.DELIVERED, 0, 0, 0);
+            return new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
+        }
+        if (!r.answered()) {
+            return End.unanswered(r.progress(), r.failure());
         }
         boolean full = r.code() == 429 || r.code() == 503;
         String wait = r.header("Retry-After");
--- /dev/null
+++ b/src/main/java/elderseam/http/Call.java
@@ -0,0 +1,24 @@
+package elderseam.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** A request to another host, encoded once. */
+public record Call(String method, String path, Map<String, String> headers, byte[] body) {
+    public static Call get(String path) {
+        return new Call("GET", path, Map.of(), new byte[0]);
+    }
+
+    ByteBuffer encoded(String host) {
+        StringBuilder head = new StringBuilder(256).append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ")
+                .append(host).append("\r\n");
+        headers.forEach((name, value) -> head.append(name).append(": ").append(value.replaceAll("\\p{Cntrl}", " "))
+                .append("\r\n"));
+        if (!method.equals("GET")) {
+            head.append("Content-Length: ").append(body.length).append("\r\n");
+        }
+        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(start.length + body.length).put(start).put(body).flip();
+    }
+}
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -1,285 +1,300 @@
 package elderseam.http;
 
+import elderseam.core.Clock;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.PooledByteBuffer;
-import io.undertow.util.Headers;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.URI;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 
 /**
  * Connections to other hosts, kept while idle for less than those hosts allow. One carries a request at a time, and
- * nothing is ever sent again from here. A request that is given up closes its connection, so that no copy stays out.
+ * nothing is ever sent again from here. A request that is given up closes its connection, so that no copy stays out; so
+ * does an answer that is spoilt, or that is followed by what does not belong to it.
  */
 public final class Connections {
-    private static final int MOST_BODY = 1 << 20;
+    private static final long WHOLE_NS = 700 * Clock.MS;            // from the first byte of an answer to its last
+    private static final long LOOK_NS = 100 * Clock.MS;
+    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     /** An open connection: the request on it, or since when it stands idle. */
-    private static final class Link {
-        final ClientConnection connection;
+    private final class Link {
+        final StreamConnection channel;
         Request current;
         long since;
+        boolean closed;
 
-        Link(ClientConnection connection) {
-            this.connection = connection;
+        Link(StreamConnection channel, Request first) {
+            this.channel = channel;
+            this.current = first;
+            channel.getSourceChannel().setReadListener(c -> readable());
+            channel.getSourceChannel().resumeReads();
+        }
+
+        void close() {
+            if (!closed) {
+                closed = true;
+                open--;
+                IoUtils.safeClose(channel);
+            }
+        }
+
+        /** What comes next: -1 the end, 0 nothing now. */
+        private int read() {
+            if (closed) {
+                return -1;
+            }
+            buffer.clear();
+            try {
+                return channel.getSourceChannel().read(buffer);
+            } catch (IOException e) {
+                return -1;
+            } finally {
+                buffer.flip();
+            }
+        }
+
+        private void readable() {
+            for (int n = read(); n != 0 && !closed; n = read()) {
+                if (current == null) {   // nothing was asked
+                    forget(this);
+                    close();
+                } else if (current.came(n)) {
+                    return;
+                }
+            }
+        }
+
+        /** Whether nothing has come unasked: neither an end nor what would be taken for the next answer. */
+        boolean quiet() {
+            return read() == 0;
         }
     }
 
     private final Io io;
     private final long idleNs;
-    private final int most;
-    private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
-    private int open;                                                     // with those still connecting
+    private final int most, mostBody;
+    private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
+    private final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
+    private int open;                                                          // with those still connecting
+    private boolean looking;
 
-    /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once. */
-    public Connections(Io io, long idleNs, int most) {
+    /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once;
+     *  {@code mostBody}: a longer answer is spoilt. */
+    public Connections(Io io, long idleNs, int most, int mostBody) {
         this.io = io;
         this.idleNs = idleNs;
         this.most = most;
+        this.mostBody = mostBody;
     }
 
     /** Closes what stands idle to a host. */
-    public void closeIdle(String address) {
-        ArrayDeque<Link> kept = idle.remove(address);
+    public void closeIdle(UpstreamHost host) {
+        ArrayDeque<Link> kept = idle.remove(host);
         if (kept != null) {
-            kept.forEach(link -> close(link.connection));
+            kept.forEach(Link::close);
         }
     }
 
     /** Sends a request; {@code done} is told once, never from within this call. */
-    public Request send(String address, ClientRequest request, byte[] body, long connectBy, long answerBy,
-                        Consumer<Reply> done) {
-        request.getRequestHeaders().put(Headers.HOST, address);
-        if (body.length > 0) {
-            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
-        }
-        Request r = new Request(address, request, body, answerBy, done);
-        r.start(connectBy);
+    public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
+        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, done);
+        r.start();
         return r;
     }
 
-    private Link takeIdle(String address) {
-        ArrayDeque<Link> kept = idle.get(address);
+    private Link takeIdle(UpstreamHost host) {
         Link found = null;
-        while (kept != null && found == null && !kept.isEmpty()) {
+        for (ArrayDeque<Link> kept = idle.get(host); found == null && kept != null && !kept.isEmpty(); ) {
             Link link = kept.pollLast();
-            if (link.connection.isOpen() && io.clock.now() - link.since < idleNs) {
+            if (io.clock.now() - link.since < idleNs && link.quiet()) {
                 found = link;
             } else {
-                close(link.connection);
+                link.close();
             }
         }
-        idle.computeIfPresent(address, (a, left) -> left.isEmpty() ? null : left);
+        dropEmpty(host);
         return found;
     }
 
+    private void dropEmpty(UpstreamHost host) {
+        idle.computeIfPresent(host, (h, kept) -> kept.isEmpty() ? null : kept);
+    }
+
+    private void forget(Link link) {
+        idle.values().removeIf(kept -> kept.remove(link) && kept.isEmpty());
+    }
+
     /** Closes what has stood idle longest, to any host; false where nothing does. */
     private boolean makeRoom() {
-        String longest = idle.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
+        UpstreamHost longest = idle.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
                 .map(Map.Entry::getKey).orElse(null);
         if (longest == null) {
             return false;
         }
-        close(idle.get(longest).pollFirst().connection);
-        idle.computeIfPresent(longest, (a, kept) -> kept.isEmpty() ? null : kept);
+        idle.get(longest).pollFirst().close();
+        dropEmpty(longest);
         return true;
     }
 
-    private void keep(String address, Link link) {
-        long since = io.clock.now();
-        link.since = since;
-        idle.computeIfAbsent(address, a -> new ArrayDeque<>()).add(link);
-        io.at(since + idleNs, () -> {
-            ArrayDeque<Link> kept = idle.get(address);
-            if (link.since == since && kept != null && kept.remove(link)) {
-                close(link.connection);
-                idle.computeIfPresent(address, (a, left) -> left.isEmpty() ? null : left);
-            }
-        });
+    private void keep(UpstreamHost host, Link link) {
+        link.since = io.clock.now();
+        idle.computeIfAbsent(host, h -> new ArrayDeque<>(2)).add(link);
+        look();
     }
 
-    /**
-     * Closes the socket itself. The client's own close() only shuts its sending down, and once a request's channel
-     * has been shut that reaches no socket: the upstream host would go on serving a request that was given up.
-     */
-    private static void close(ClientConnection c) {
-        try {
-            IoUtils.safeClose(c.performUpgrade());
-        } catch (IOException e) {
-            IoUtils.safeClose(c);
+    private void look() {
+        if (!looking && !idle.isEmpty()) {
+            looking = true;
+            io.at(io.clock.now() + LOOK_NS, () -> {
+                looking = false;
+                long since = io.clock.now() - idleNs;
+                List<Link> due = new ArrayList<>();
+                idle.values().forEach(kept -> kept.stream().filter(l -> l.since <= since).forEach(due::add));
+                due.forEach(link -> {
+                    forget(link);
+                    link.close();
+                });
+                look();
+            });
         }
     }
 
-    private Link opened(ClientConnection c) {
-        Link link = new Link(c);
-        c.addCloseListener(x -> {
-            open--;
-            if (link.current != null) {
-                link.current.finish(Status.BROKEN);
-            }
-        });
-        return link;
-    }
-
     /** One request under way. */
     public final class Request {
-        private final String address;
-        private final ClientRequest request;
-        private final ByteBuffer body;
-        private final long answerBy;
+        private final UpstreamHost host;
+        private final ByteBuffer bytes;
+        private final long connectBy, answerBy;
         private final Consumer<Reply> done;
-        private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+        private final AnswerReader answer = new AnswerReader(mostBody);
         private Progress progress = Progress.NOT_CONNECTED;
         private Link link;
-        private ClientExchange exchange;
+        private IoFuture<StreamConnection> connecting;
         private XnioExecutor.Key timer;
-        private boolean over;
+        private boolean answering, over;
 
-        private Request(String address, ClientRequest request, byte[] body, long answerBy, Consumer<Reply> done) {
-            this.address = address;
-            this.request = request;
-            this.body = ByteBuffer.wrap(body);
+        private Request(UpstreamHost host, ByteBuffer bytes, long connectBy, long answerBy, Consumer<Reply> done) {
+            this.host = host;
+            this.bytes = bytes;
+            this.connectBy = connectBy;
             this.answerBy = answerBy;
             this.done = done;
         }
 
-        private void start(long connectBy) {
-            Link kept = takeIdle(address);
-            if (kept != null) {
-                io.run(() -> connected(kept));
+        private void start() {
+            link = takeIdle(host);
+            if (link == null) {
+                connect();
                 return;
             }
-            if (open >= most && !makeRoom()) {
+            link.current = this;
+            io.run(this::begin);
+        }
+
+        private void connect() {
+            InetSocketAddress to = host.socket();
+            if (to == null || open >= most && !makeRoom()) {
                 io.run(() -> finish(Status.BROKEN));
                 return;
             }
             open++;
-            timer = io.at(connectBy, () -> finish(Status.TIMED_OUT));
-            UndertowClient.getInstance().connect(new ClientCallback<>() {
-                @Override
-                public void completed(ClientConnection c) {
-                    Link fresh = opened(c);
-                    io.run(() -> connected(fresh));
+            expire(connectBy, Status.TIMED_OUT);
+            connecting = io.thread.openStreamConnection(to, this::connected, OPTIONS);
+            connecting.addNotifier((future, none) -> {
+                if (future.getStatus() != IoFuture.Status.DONE) {
+                    io.run(() -> {
+                        open--;
+                        finish(Status.BROKEN);
+                    });
                 }
-
-                @Override
-                public void failed(IOException e) {
-                    open--;
-                    io.run(() -> finish(Status.BROKEN));
-                }
-            }, URI.create("http://" + address), io.thread, io.buffers, OptionMap.EMPTY);
+            }, null);
         }
 
-        private void connected(Link to) {
+        private void connected(StreamConnection channel) {
+            Link fresh = new Link(channel, this);
             if (over) {
-                close(to.connection);   // came up too late
+                fresh.close();   // came up too late
                 return;
             }
+            link = fresh;
+            io.run(this::begin);
+        }
+
+        private void expire(long by, Status as) {
             if (timer != null) {
                 timer.remove();
             }
-            link = to;
-            link.current = this;
-            timer = io.at(answerBy, () -> finish(Status.TIMED_OUT));
-            link.connection.sendRequest(request, new ClientCallback<>() {
-                @Override
-                public void completed(ClientExchange e) {
-                    begin(e);
-                }
-
-                @Override
-                public void failed(IOException e) {
-                    finish(Status.BROKEN);
-                }
-            });
+            timer = io.at(by, () -> finish(as));
         }
 
-        private void begin(ClientExchange e) {
-            exchange = e;
-            progress = body.hasRemaining() ? Progress.PARTLY_WRITTEN : Progress.WRITTEN;
-            e.setResponseListener(new ClientCallback<>() {
-                @Override
-                public void completed(ClientExchange x) {
-                    progress = Progress.ANSWERED;
-                    read(x.getResponseChannel());
-                }
-
-                @Override
-                public void failed(IOException x) {
-                    finish(Status.BROKEN);
-                }
-            });
-            if (body.hasRemaining()) {
-                write(e.getRequestChannel());
+        private void begin() {
+            if (over || link == null || progress != Progress.NOT_CONNECTED) {
+                return;
             }
+            expire(answerBy, Status.TIMED_OUT);
+            progress = Progress.PARTLY_WRITTEN;
+            write(link.channel.getSinkChannel());
         }
 
         /** Once the last byte has been handed to the network, the request may have run. */
-        private void write(StreamSinkChannel to) {
+        private void write(ConduitStreamSinkChannel to) {
             try {
-                while (body.hasRemaining()) {
-                    if (to.write(body) == 0) {
-                        to.getWriteSetter().set(this::write);
+                while (!over && bytes.hasRemaining()) {
+                    if (to.write(bytes) == 0) {
+                        to.setWriteListener(this::write);
                         to.resumeWrites();
                         return;
                     }
                 }
-                progress = progress == Progress.ANSWERED ? progress : Progress.WRITTEN;
-                to.shutdownWrites();
-                if (!to.flush()) {
-                    to.getWriteSetter().set(ChannelListeners.flushingChannelListener(null,
-                            (c, x) -> finish(Status.BROKEN)));
-                    to.resumeWrites();
-                } else {
-                    to.suspendWrites();
-                }
+                to.suspendWrites();
+                progress = Progress.WRITTEN;
             } catch (IOException x) {
                 finish(Status.BROKEN);
             }
         }
 
-        private void read(StreamSourceChannel from) {
-            try (PooledByteBuffer pooled = io.buffers.allocate()) {
-                ByteBuffer b = pooled.getBuffer();
-                while (answer.size() <= MOST_BODY) {
-                    b.clear();
-                    int n = from.read(b);
-                    if (n == 0) {
-                        from.getReadSetter().set(this::read);
-                        from.resumeReads();
-                        return;
-                    }
-                    if (n < 0) {
-                        finish(null);
-                        return;
-                    }
-                    byte[] part = new byte[n];
-                    b.flip();
-                    b.get(part);
-                    answer.write(part, 0, n);
+        /** So many bytes of an answer are in the buffer, or -1: its end. True once the request is over, or elsewhere. */
+        private boolean came(int n) {
+            if (progress == Progress.NOT_CONNECTED) {
+                if (connecting != null) {
+                    finish(Status.BROKEN);
+                } else {   // the kept connection had ended, and nothing was written yet
+                    link.close();
+                    link = null;
+                    connect();
                 }
+                return true;
+            }
+            if (n < 0) {
+                answer.ended();
+            } else {
+                answer.read(buffer);
+            }
+            if (answer.whole()) {
+                boolean clean = n > 0 && !buffer.hasRemaining() && answer.kept() && progress == Progress.WRITTEN && link.quiet();
+                progress = Progress.ANSWERED;
+                finish(clean ? null : Status.BROKEN);
+            } else if (answer.spoilt()) {
                 finish(Status.BROKEN);
-            } catch (IOException x) {
-                finish(Status.BROKEN);
+            } else if (!answering) {
+                answering = true;
+                expire(Math.min(answerBy, io.clock.now() + WHOLE_NS), Status.BROKEN);
             }
+            return over;
         }
 
         /** Gives the request up; its end is told before this returns. */
@@ -287,7 +302,7 @@
             finish(Status.ABANDONED);
         }
 
-        /** With no failure the whole answer is there; else an answer whose first line came still counts. */
+        /** With no failure the connection can be used again; a whole answer counts in any case. */
         private void finish(Status failure) {
             if (over) {
                 return;
@@ -298,16 +313,17 @@
             }
             if (link != null) {
                 link.current = null;
-                if (failure == null && link.connection.isOpen()) {
-                    keep(address, link);
+                if (failure == null) {
+                    keep(host, link);
                 } else {
-                    close(link.connection);
+                    link.close();
                 }
+            } else if (connecting != null) {
+                connecting.cancel();
             }
             done.accept(progress == Progress.ANSWERED
-                    ? new Reply(progress, failure, exchange.getResponse().getResponseCode(),
-                            exchange.getResponse().getResponseHeaders(), answer.toByteArray())
-                    : Reply.none(progress, failure));
+                    ? new Reply(progress, null, answer.code(), answer.headers(), answer.body())
+                    : Reply.none(progress, failure, answer.code()));
         }
     }
 }
--- a/src/main/java/elderseam/http/Reply.java
+++ b/src/main/java/elderseam/http/Reply.java
@@ -2,12 +2,15 @@
 
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
-import io.undertow.util.HeaderMap;
+import java.util.Map;
 
-/** What came of a request to another host: its answer, or how far it had come and why there is none. */
-public record Reply(Progress progress, Status failure, int code, HeaderMap headers, byte[] body) {
-    static Reply none(Progress progress, Status failure) {
-        return new Reply(progress, failure, 0, new HeaderMap(), new byte[0]);
+/**
+ * What came of a request to another host: its whole answer, or how far it had come and why there is none. The code is of
+ * the first line, which may have been read though the rest was spoilt; 0 otherwise.
+ */
+public record Reply(Progress progress, Status failure, int code, Map<String, String> headers, byte[] body) {
+    static Reply none(Progress progress, Status failure, int code) {
+        return new Reply(progress, failure, code, Map.of(), new byte[0]);
     }
 
     public boolean answered() {
@@ -15,7 +18,6 @@
     }
 
     public String header(String name) {
-        String value = headers.getFirst(name);
-        return value == null ? "" : value;
+        return headers.getOrDefault(name, "");
     }
 }
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -4,12 +4,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.core.Clock;
 import elderseam.core.Relay;
+import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Reply;
+import elderseam.http.UpstreamHost;
 import elderseam.module.Sender;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.Methods;
 import java.io.IOException;
 import java.util.List;
 
@@ -24,13 +24,13 @@
     private final ObjectMapper json = new ObjectMapper();
     private final Io io;
     private final Connections connections;
-    private String address;
+    private UpstreamHost address;
     private final Hosts hosts;
     private final Relay relay;
     private long version;
     private Connections.Request out;   // the one call under way, or none
 
-    public Discovery(Io io, Connections connections, String address, Hosts hosts, Relay relay) {
+    public Discovery(Io io, Connections connections, UpstreamHost address, Hosts hosts, Relay relay) {
         this.io = io;
         this.connections = connections;
         this.address = address;
@@ -41,7 +41,7 @@
     /** The list as this dispatcher had it last; it may be old. */
     public void known(JsonNode list) {
         version = list.path("version").asLong();
-        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.path("servers")));
+        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.path("servers"), true));
     }
 
     /** Asks for news, unless a call is out. */
@@ -53,7 +53,7 @@
 
     /** Discovery is elsewhere from now on: what is out at the old address counts for nothing, and the new one, whose
      *  versions may be others, is asked for all it has. */
-    public void move(String to) {
+    public void move(UpstreamHost to) {
         if (to.equals(address)) {
             return;
         }
@@ -68,9 +68,8 @@
     }
 
     private void ask(String query, long by) {
-        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath("/registry/instances" + query);
         Connections.Request[] own = new Connections.Request[1];
-        own[0] = connections.send(address, request, new byte[0], io.clock.now() + ANSWER_NS, by, reply -> {
+        own[0] = connections.send(address, Call.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
             if (out == own[0]) {
                 out = null;
                 told(reply);
@@ -87,7 +86,7 @@
                 watch();
                 boolean whole = list.path("full").asBoolean();
                 relay.hosts(whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
-                        hosts.decode(list.path("servers")));
+                        hosts.decode(list.path("servers"), whole));
                 return;
             } catch (IOException e) {
                 System.err.println("discovery: " + e.getMessage());
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import elderseam.core.SettingsMap;
+import elderseam.http.UpstreamHost;
 import elderseam.module.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,7 +11,7 @@
 
 /** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
 public final class Hosts {
-    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, UpstreamHost> hosts = new HashMap<>();   // those listed
     private final List<String> kinds, zones;
 
     public Hosts(SettingsMap settings) {
@@ -18,27 +19,33 @@
         this.zones = settings.list("localities");
     }
 
-    /** Where that host is reached. */
-    public String address(String id) {
-        return addresses.getOrDefault(id, "");
+    /** That host; one that is not listed has no address. */
+    public UpstreamHost host(String id) {
+        return hosts.getOrDefault(id, new UpstreamHost(id, ""));
     }
 
-    /** The entries of a list, whose addresses are kept. */
-    public List<Sender.Endpoint> decode(JsonNode servers) {
-        List<Sender.Endpoint> hosts = new ArrayList<>();
+    /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
+    public List<Sender.Endpoint> decode(JsonNode servers, boolean whole) {
+        if (whole) {
+            hosts.clear();
+        }
+        List<Sender.Endpoint> entries = new ArrayList<>();
         for (JsonNode s : servers) {
             String id = s.path("id").asText();
             if (s.hasNonNull("addr")) {
-                addresses.put(id, s.get("addr").asText());
+                hosts.put(id, new UpstreamHost(id, s.get("addr").asText()));
             }
             Sender.Listing listing = switch (s.path("state").asText()) {
                 case "SERVING" -> Sender.Listing.READY;
                 case "DELETED" -> Sender.Listing.GONE;
                 default -> Sender.Listing.DRAINING;
             };
-            hosts.add(new Sender.Endpoint(id, s.path("cell").asLong(), Math.max(0, kinds.indexOf(s.path("kind").asText())),
+            if (listing == Sender.Listing.GONE) {
+                hosts.remove(id);
+            }
+            entries.add(new Sender.Endpoint(id, s.path("cell").asLong(), Math.max(0, kinds.indexOf(s.path("kind").asText())),
                     Math.max(0, zones.indexOf(s.path("zone").asText())), listing, s.path("weight").asDouble(1)));
         }
-        return hosts;
+        return entries;
     }
 }
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/platform/Notices.java
@@ -4,11 +4,11 @@
 import elderseam.core.Clock;
 import elderseam.core.Relay;
 import elderseam.core.Stream;
+import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Reply;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.Methods;
+import elderseam.http.UpstreamHost;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -22,13 +22,13 @@
 
     private final Io io;
     private final Connections connections;
-    private String address;
+    private UpstreamHost address;
     private final Relay relay;
     private final Map<String, String> owed = new LinkedHashMap<>();
     private boolean out;               // a post is under way, or about to be
     private Connections.Request request;
 
-    Notices(Io io, Connections connections, String address, Relay relay) {
+    Notices(Io io, Connections connections, UpstreamHost address, Relay relay) {
         this.io = io;
         this.connections = connections;
         this.address = address;
@@ -44,7 +44,7 @@
     }
 
     /** Notices go elsewhere from now on, those not yet acknowledged at once. */
-    void move(String to) {
+    void move(UpstreamHost to) {
         if (to.equals(address)) {
             return;
         }
@@ -79,9 +79,9 @@
             lines.append(e.getValue());
         });
         long by = io.clock.now() + ANSWER_NS;
-        ClientRequest post = new ClientRequest().setMethod(Methods.POST).setPath("/status");
+        Call post = new Call("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
         Connections.Request[] own = new Connections.Request[1];
-        own[0] = connections.send(address, post, lines.toString().getBytes(StandardCharsets.UTF_8), by, by, r -> {
+        own[0] = connections.send(address, post, by, by, r -> {
             if (request == own[0]) {
                 told(ids, r);
             }
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -10,6 +10,7 @@
 import elderseam.http.Io;
 import elderseam.http.Server.Answerer;
 import elderseam.http.Server.Request;
+import elderseam.http.UpstreamHost;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -28,7 +29,7 @@
     private final List<String> classes, tenants;
     private boolean ready = true;
 
-    public PlatformFront(Io io, Connections connections, String platform, Relay relay, SettingsMap settings) {
+    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings) {
         this.clock = io.clock;
         this.relay = relay;
         this.notices = new Notices(io, connections, platform, relay);
@@ -116,7 +117,7 @@
     }
 
     /** The platform's place for notices is elsewhere from now on. */
-    public void move(String platform) {
+    public void move(UpstreamHost platform) {
         notices.move(platform);
     }
 
--- a/src/main/java/elderseam/platform/PlatformUpstream.java
+++ b/src/main/java/elderseam/platform/PlatformUpstream.java
@@ -6,20 +6,20 @@
 import elderseam.core.Upstream;
 import elderseam.core.UpstreamRequest;
 import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
+import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Reply;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /** A message as a call to an upstream host, and what its answer means. */
 public final class PlatformUpstream implements Upstream {
-    private static final HttpString TXN = new HttpString("X-Txn"), KEY = new HttpString("Idempotency-Key"),
-            REMAINING = new HttpString("X-Remaining");
+    private static final double MOST_WAIT_MS = 600_000, MOST_LIMIT = 1e6;   // what is more is no sense
 
     private final Io io;
     private final Connections connections;
@@ -35,27 +35,27 @@
 
     @Override
     public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Consumer<End> end) {
-        ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath("/receive");
-        request.getRequestHeaders().put(TXN, m.id());
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("X-Txn", m.id());
         if (!m.key().isEmpty()) {
-            request.getRequestHeaders().put(KEY, m.key());
+            headers.put("Idempotency-Key", m.key());
         }
-        request.getRequestHeaders().put(REMAINING, Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
-        return connections.send(hosts.address(host), request, m.body(), connectBy, answerBy,
-                r -> end.accept(end(r)))::abandon;
+        headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
+        return connections.send(hosts.host(host), new Call("POST", "/receive", headers, m.body()), connectBy, answerBy,
+                r -> end.accept(meaning(r, fields)))::abandon;
     }
 
     @Override
     public void closeIdle(String host) {
-        connections.closeIdle(hosts.address(host));
+        connections.closeIdle(hosts.host(host));
     }
 
-    private End end(Reply r) {
-        return r.answered() ? meaning(r, fields) : End.unanswered(r.progress(), r.failure());
-    }
-
-    /** The meaning of an answer. */
+    /** The meaning of an answer. Where it is spoilt, only a first line with 200 counts: it was delivered. */
     static End meaning(Reply r, List<String> fields) {
+        if (!r.answered()) {
+            return r.code() == 200 ? new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
+                    : End.unanswered(r.progress(), r.failure());
+        }
         Status status = switch (r.code()) {
             case 200 -> Status.DELIVERED;
             case 429 -> Status.FULL;
@@ -64,16 +64,16 @@
             case 410 -> Status.OVER;
             default -> Status.ERROR;
         };
-        double wait = status == Status.FULL ? number(r.header("X-RateLimit-Wait-Ms")) : 0;
-        String pressure = r.header("X-Pressure");
-        return new End(r.progress(), status, (long) (wait * Clock.MS), value(pressure, fields, 0),
-                value(pressure, fields, 1));
+        double wait = status == Status.FULL ? Math.min(MOST_WAIT_MS, number(r.header("X-RateLimit-Wait-Ms"))) : 0;
+        double left = value(r.header("X-Pressure"), fields, 0), limit = value(r.header("X-Pressure"), fields, 1);
+        boolean sense = left <= 1 && limit <= MOST_LIMIT;
+        return new End(r.progress(), status, (long) (wait * Clock.MS), sense ? left : 0, sense ? limit : 0);
     }
 
     /** A field of a report such as {@code TEXT x0=0.4, x1=25}; 0 where it is not told. */
     private static double value(String pressure, List<String> fields, int index) {
-        if (index < fields.size() && !fields.get(index).isEmpty()) {
-            for (String pair : pressure.replaceFirst("^TEXT ", "").split(",")) {
+        if (pressure.startsWith("TEXT ") && index < fields.size() && !fields.get(index).isEmpty()) {
+            for (String pair : pressure.substring(5).split(",")) {
                 int eq = pair.indexOf('=');
                 if (eq > 0 && pair.substring(0, eq).strip().equals(fields.get(index))) {
                     return number(pair.substring(eq + 1).strip());
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -5,14 +5,13 @@
 import elderseam.core.Clock;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
-import io.undertow.client.ClientRequest;
-import io.undertow.util.Methods;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -24,14 +23,14 @@
 
     ProgressTest() throws Exception {
         io = new Io(new Clock());
-        connections = new Connections(io, 1_000 * Clock.MS, 50);
+        connections = new Connections(io, 1_000 * Clock.MS, 50, 64 << 10);
     }
 
     private CompletableFuture<Reply> send(int port, int bytes, long connectMs) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         long by = io.clock.now() + 10_000 * Clock.MS;
-        io.run(() -> connections.send("127.0.0.1:" + port, new ClientRequest().setMethod(Methods.POST).setPath("/x"),
-                new byte[bytes], io.clock.now() + connectMs * Clock.MS, by, reply::complete));
+        io.run(() -> connections.send(new UpstreamHost("h", "127.0.0.1:" + port),
+                new Call("POST", "/x", Map.of(), new byte[bytes]), io.clock.now() + connectMs * Clock.MS, by, reply::complete));
         return reply;
     }
 
--- a/src/test/java/elderseam/platform/MeaningTest.java
+++ b/src/test/java/elderseam/platform/MeaningTest.java
@@ -1,22 +1,20 @@
 package elderseam.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.UpstreamRequest.End;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
 import elderseam.http.Reply;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.HttpString;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What an answer of an upstream host means. */
 class MeaningTest {
     private static End end(int code, String header, String value) {
-        HeaderMap headers = new HeaderMap();
-        headers.put(new HttpString(header), value);
-        return PlatformUpstream.meaning(new Reply(Progress.ANSWERED, null, code, headers, new byte[0]),
+        return PlatformUpstream.meaning(new Reply(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]),
                 List.of("x0", "x1"));
     }
 
@@ -38,8 +36,12 @@
     void reports() {
         End told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
         assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
-        End odd = end(200, "X-Pressure", "TEXT x1=many, x0");
-        assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()));
+        for (String nonsense : List.of("TEXT x1=many, x0", "BIN x0=0.4, x1=25", "TEXT x0=0.4, x1=1e300", "TEXT x0=NaN, x1=-3",
+                "TEXT x0=7, x1=25", "\u0000\u00ff=,=,")) {
+            End odd = end(200, "X-Pressure", nonsense);
+            assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
+        }
+        assertTrue(end(429, "X-RateLimit-Wait-Ms", "1e300").waitNs() > 0, "an endless wait must not run over");
     }
 
     @Test
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -32,7 +32,7 @@
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
  * send       a client: METHOD PATH; Header: value; ... | body ({64K}: a long one)    a host: CODE; Header: value | body
- * raw        a client: these bytes, \r\n in words; none: it only connects
+ * raw        a client or host: these bytes, \r\n in words; none: a client only connects
  *            platform: a change of the list, answering the watch, or fail, or mute (no answer)
  * expect     the next message there holds each of these parts (set apart by ;); platform: a notice
  * close      a client, host or the platform resets its connections; "close all" of a host, and the platform, stop
@@ -202,6 +202,7 @@
                 holds(asked.message, words);
             }
             case "send" -> h.last.write(response(words));
+            case "raw" -> h.last.write(bytes(words));
             case "close" -> {
                 if (words.equals("all")) {
                     h.server.close();
@@ -223,7 +224,7 @@
     private void client(String name, String verb, String words) throws Exception {
         switch (verb) {
             case "send" -> link(name).write(request(words));
-            case "raw" -> link(name).write(words.replace("\\r\\n", "\r\n").replace("{64K}", "x".repeat(64 << 10)));
+            case "raw" -> link(name).write(bytes(words));
             case "expect" -> holds(link(name).next(), words);
             case "close" -> links.remove(name).reset();
             default -> assertEquals(Wire.ENDED, links.remove(name).read.poll(words.equals("closed")
@@ -265,6 +266,10 @@
         }
     }
 
+    private static String bytes(String words) {
+        return words.replace("\\r\\n", "\r\n").replace("{64K}", "x".repeat(64 << 10));
+    }
+
     private static String response(String words) {
         String[] body = words.split("\\|", 2);
         String[] part = body[0].split(";");
