Forget what is gone, refuse unknown destinations, and blame idling for resets only at once

Checked: Brain.stale took every reset of a call whose connection had idled longer than a call takes (200 ms) for a dead connection and halved what a kind keeps, for 30 s, again and again; resets came in the middle of calls. Ruled out: the idle limit (none aged out).

Now a reset counts as stale only if it came within half a usual call, after 0.5 s or more; a spoilt answer is an error, not a reset. Gone endpoints, destinations without any for the longest deadline, rested lanes and ends past their time are forgotten.

--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -43,6 +43,12 @@
         }
     }
 
+    /** Whether a message for that destination can be taken on. */
+    boolean serves(long time, long destination) {
+        now = Math.max(now, time);
+        return brain.serves(now, destination);
+    }
+
     private static Sender.Message message(Stream s) {
         Stream.Message m = s.message;
         return new Sender.Message(m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(),
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -57,6 +57,7 @@
     private FileChannel channel;
     private long size;
     private long live;
+    private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
 
     public Journal(Path folder, long capBytes, Clock clock) throws IOException {
         this.file = folder.resolve("journal");
@@ -142,6 +143,16 @@
         e.owed = owed;
         append(endRecord(m.id(), e));
         putEnd(m.id(), e);
+        if (entries.size() >= sweepAt) {   // not only when the file is full: ids are new for ever
+            sweep();
+            sweepAt = Math.max(1_024, 2 * entries.size());
+        }
+    }
+
+    private void sweep() {
+        long now = System.currentTimeMillis();
+        entries.values().removeIf(e -> e.answer != null && !e.owed && e.keepMs < now);
+        live = entries.values().stream().mapToLong(Entry::weight).sum();
     }
 
     private byte[] endRecord(String id, Entry e) {
@@ -275,10 +286,7 @@
 
     /** Writes what still counts to a new file, which then takes the place of the old one. */
     private void compact() throws IOException {
-        long now = System.currentTimeMillis();
-        entries.entrySet().removeIf(x -> x.getValue().answer != null && !x.getValue().owed
-                && x.getValue().keepMs < now);
-        live = entries.values().stream().mapToLong(Entry::weight).sum();
+        sweep();
         FileChannel fresh = open(spare());
         long at = 0;
         try {
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -82,7 +82,8 @@
             return known;
         }
         Stream s = new Stream(message);
-        if (streams.size() >= settings.mostHeld() || !journal.taken(message)) {
+        if (!facade.serves(clock.now(), message.destination()) || streams.size() >= settings.mostHeld()
+                || !journal.taken(message)) {
             return Answer.refused(ROOM_AGAIN_NS);
         }
         streams.put(s.id(), s);
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -287,12 +287,12 @@
             if (answer.whole()) {
                 boolean clean = n > 0 && !buffer.hasRemaining() && answer.kept() && progress == Progress.WRITTEN && link.quiet();
                 progress = Progress.ANSWERED;
-                finish(clean ? null : Status.BROKEN);
+                finish(clean ? null : Status.ERROR);
             } else if (answer.spoilt()) {
-                finish(Status.BROKEN);
+                finish(answering || n > 0 ? Status.ERROR : Status.BROKEN);   // an answer of sorts, or none
             } else if (!answering) {
                 answering = true;
-                expire(Math.min(answerBy, io.clock.now() + WHOLE_NS), Status.BROKEN);
+                expire(Math.min(answerBy, io.clock.now() + WHOLE_NS), Status.ERROR);
             }
             return over;
         }
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -79,6 +79,7 @@
         final Brain.Circuit circuit;
         final Destination dest;
         boolean ready;
+        boolean gone;                // no longer listed; forgotten once nothing is out there
         double bias;                 // this sender's own liking for it
         int out;
         long usedAt = Long.MIN_VALUE / 2;   // last call ended
@@ -104,10 +105,12 @@
         final List<Brain.Circuit> circuits = new ArrayList<>();
         final List<Held> waiting = new ArrayList<>();
         boolean busy;
+        long bareFrom;               // when its last endpoint left
 
-        Destination(long id, Sender.Kind kind) {
+        Destination(long id, Sender.Kind kind, long now) {
             this.id = id;
             this.kind = kind;
+            this.bareFrom = now;
         }
     }
 
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -6,8 +6,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import elderseam.module.Books.Call;
 import elderseam.module.Books.Destination;
@@ -41,6 +43,8 @@
     private static final double LOSSY = 0.05, LOSSES = 3;     // share and number of calls lost that say so
     private static final int HUNG = 2, HUNG_LOSSY = 5;        // overdue calls, no success since, that trip
     private static final int LOST = 2;                        // answers to others that show one to be lost
+    private static final double STALE = 0.5;                  // usual times until a dead connection shows
+    private static final long STALE_NS = 500_000_000L;        // nothing ends a connection that idled for less
     private static final double SLOW = 3;                     // times the usual time: fewer tickets
     private static final double MOST_SLOWDOWN = 4;            // cap on the slowness laid to the whole network
     // --- pace
@@ -235,7 +239,8 @@
                 good(call, o, now);
                 return;
             }
-            if (call.overdue && call.idleNs > 0 || o.result() == Sender.Result.RESET && stale(call, now)) {
+            if (call.overdue && call.idleNs > 0 || o.result() == Sender.Result.RESET
+                    && o.latencyNs() < STALE * usualNs() && stale(call, now)) {
                 return;   // the connection's fault
             }
             if (o.result() == Sender.Result.FULL) {
@@ -285,10 +290,11 @@
 
         /**
          * Lost on a connection that had idled longer than a call takes: it may have died unseen. Those of the
-         * kind are kept half as long from now on, and the destination is not blamed. Costs new ones.
+         * kind are kept half as long from now on, and the destination is not blamed. Costs new ones, so a
+         * reset says so only if it came at once: what breaks off in the middle of a call lived until then.
          */
         private boolean stale(Call call, long now) {
-            call.idleNs = call.idleNs > usualNs() ? call.idleNs : 0;
+            call.idleNs = call.idleNs > Math.max(STALE_NS, usualNs()) ? call.idleNs : 0;
             if (call.idleNs > 0) {
                 keep(call.target.dest.kindNo, call.idleNs / 2);
             }
@@ -388,6 +394,8 @@
     private final List<Circuit> seen = new ArrayList<>();                 // delivered something of late
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Lane> lanes = new HashMap<>();
+    private final List<Destination> bare = new ArrayList<>();       // no endpoint is listed
+    private final Set<Held> resting = new LinkedHashSet<>();        // the last of their lanes, which rest yet
     private final double[] tenantLevel;
     private final Window losses = new Window(BUCKETS, BUCKET_NS);   // of answers, over all destinations
     private final List<Held> candidates = new ArrayList<>();
@@ -445,22 +453,54 @@
             subscribeFailures = 0;
         }
         if (kind != Sender.ListKind.CHANGES) {
-            targets.values().forEach(t -> t.ready = false);
+            targets.values().forEach(t -> t.gone = true);
         }
         for (Sender.Endpoint e : entries) {
             boolean known = targets.containsKey(e.address()) || e.listing() != Sender.Listing.READY;
             Target t = known ? targets.get(e.address()) : add(e, now);
             if (t != null) {
                 t.ready = e.listing() == Sender.Listing.READY;
-                if (settings.rates() != Sender.Rates.UNTOLD) {
+                t.gone = e.listing() == Sender.Listing.GONE;
+                if (settings.rates() != Sender.Rates.UNTOLD && t.ready) {
                     t.circuit.weight = e.weight();
                 }
             }
         }
+        targets.values().forEach(t -> t.ready &= !t.gone);
+        targets.values().stream().filter(t -> t.gone && t.out == 0).toList().forEach(this::drop);
+        bare.removeIf(d -> !d.targets.isEmpty());
+        bare.stream().filter(d -> !d.busy && !lately(d)).forEach(d -> destinations.remove(d.id));
+        bare.removeIf(d -> !destinations.containsKey(d.id));
+    }
+
+    /** One that is gone, and has nothing out, is forgotten; its successor starts anew. */
+    private void drop(Target t) {
+        targets.remove(t.address);
+        t.dest.targets.remove(t);
+        if (t.dest.targets.isEmpty()) {
+            t.dest.bareFrom = clock;
+            bare.add(t.dest);
+        }
+        if (t.dest.kind.routesApart()) {
+            t.dest.circuits.remove(t.circuit);
+        }
+    }
+
+    /** Whether its last endpoint left so lately that messages for it may still be held. */
+    private boolean lately(Destination d) {
+        long longest = settings.classes().stream().mapToLong(c -> c.deadlineNs()).max().orElse(0);
+        return clock - d.bareFrom <= longest;
+    }
+
+    @Override
+    public boolean serves(long now, long id) {
+        advance(now);
+        Destination d = destinations.get(id);
+        return d != null && (!d.targets.isEmpty() || lately(d));
     }
 
     private Destination destination(long id) {
-        return destinations.computeIfAbsent(id, i -> new Destination(i, settings.kinds().get(0)));
+        return destinations.computeIfAbsent(id, i -> new Destination(i, settings.kinds().get(0), clock));
     }
 
     private Target add(Sender.Endpoint e, long now) {
@@ -658,9 +698,18 @@
             return;
         }
         held.remove(m.msg.id());
-        if (lane != null && lane.queue.isEmpty() && lane.out == 0 && lane.restUntil <= clock) {
-            lanes.remove(m.msg.orderKey(), lane);
+        if (lane != null && rests(m)) {
+            resting.add(m);
+        }
+    }
+
+    /** Whether its lane is empty and kept only for its rest; one that need not rest is forgotten. */
+    private boolean rests(Held m) {
+        boolean empty = m.lane.queue.isEmpty() && m.lane.out == 0;
+        if (empty && m.lane.restUntil <= clock) {
+            lanes.remove(m.msg.orderKey(), m.lane);
         }
+        return empty && m.lane.restUntil > clock;
     }
 
     private boolean mayRefuse(Held m) {
@@ -744,6 +793,7 @@
             return;
         }
         measuredAt = now;
+        resting.removeIf(m -> !rests(m));
         seen.removeIf(c -> now - c.lastGood >= BUCKETS * BUCKET_NS / 2);
         fleetUsual = seen.stream().mapToDouble(c -> c.usual).average().orElse(fleetUsual);
         double[] ratio = seen.stream().mapToDouble(c -> c.recent / c.usual).sorted().toArray();
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -144,6 +144,9 @@
          *  of them may have run, and until when a keyed one may then be sent again. */
         void restored(long now, Message message, int attempts, boolean maybeRan, long keyUntil);
 
+        /** Whether there is, or was of late, an endpoint for that destination; a message for another is best not taken. */
+        boolean serves(long now, long destination);
+
         /** The process ends at that time: no attempt starts that would hardly be answered before it. */
         void closing(long now, long end);
 
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -93,6 +93,23 @@
         assertEquals(List.of(), journal.unfinished());
     }
 
+    /** Ids are always new: those whose end need not be remembered must not stay until the file is full. */
+    @Test
+    void endsAreForgottenInTime() throws IOException {
+        journal.close();
+        journal = new Journal(folder, 100_000_000, clock);
+        for (int i = 0; i < 5_000; i++) {
+            Stream.Message m = message("m" + i, 10, -1);
+            journal.taken(m);
+            journal.ended(m, Answer.DELIVERED, true);
+        }
+        assertNull(journal.answer("m1"));
+        Stream.Message kept = message("kept", 10, 60);
+        journal.taken(kept);
+        journal.ended(kept, Answer.DELIVERED, true);
+        assertEquals(Answer.DELIVERED, journal.answer("kept"));
+    }
+
     /** What is full refuses, and has room again once something ended. */
     @Test
     void aFullJournalHasRoomAgain() throws IOException {
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -7,6 +7,7 @@
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
 import elderseam.module.Sender;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -73,6 +74,17 @@
         assertEquals(1, timers.size());
     }
 
+    /** No destination of the list: nobody could deliver it, so it is not taken on, and the journal never hears of it. */
+    @Test
+    void anUnknownDestinationIsRefused() throws Exception {
+        long by = clock.now() + 9_000 * Clock.MS;
+        Answer answer = relay.take(new Stream.Message("x", (byte) 0, 0, -1, 99, by, by, false, true, "", new byte[0]));
+        assertEquals(Answer.Kind.REFUSED, answer.kind());
+        assertEquals(0, Files.size(folder.resolve("journal")));
+        relay.hosts(Sender.ListKind.CHANGES, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.GONE, 100)));
+        assertNull(take("y"), "its last host left a moment ago: another may follow");
+    }
+
     /** One final answer, whatever comes after it, and a repeated id is not taken twice. */
     @Test
     void eachStreamEndsOnce() {
--- a/src/test/java/elderseam/module/ConnectionsTest.java
+++ b/src/test/java/elderseam/module/ConnectionsTest.java
@@ -81,6 +81,24 @@
         assertEquals(before + 1, disconnects("a:1"), "idle for longer than half of what was lost: a new one");
     }
 
+    /** A call that breaks off in the middle says nothing of idling: every such reset used to halve what a kind keeps. */
+    @Test
+    void aLateResetIsNoSignOfIdling() {
+        Rig few = Rig.simple(8);
+        String first = few.submit(0, -1, 1);
+        few.pass(50 * MS);
+        few.answer(first, Result.DELIVERED);
+        for (int i = 0; i < 2; i++) {
+            few.pass(3 * S);
+            String broken = few.submit(0, -1, 1);
+            few.pass(200 * MS);
+            few.answer(broken, Result.RESET);
+            few.pass(S);
+            few.answer(broken, Result.DELIVERED);
+        }
+        assertTrue(few.trace.stream().noneMatch(l -> l.contains("disconnect")), few.trace.toString());
+    }
+
     /** Ties went to the first listed endpoint: at fjordvik all couriers sent to one route of three. */
     @Test
     void sendersSpreadOverRoutesByTheirRates() {
