A pace whose told limit rose again catches up with its share within seconds

Ruled out: breakers (closed), slots, waits told (0), the endpoints that left (dest 10 alone had none).

At fault: Brain.Circuit.refill grew a pace by 15% a second whatever the answers told of the limit and of the share of it that was left.

Now a pace grows fast, up to this sender's share of the told limit, where that limit is 1.5 times what it was at the last cut and half of it is left.

LimitTest fails without.

--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -51,6 +51,8 @@
     private static final double CUT = 0.88;                   // pace kept after a refusal as full
     private static final double CUT_ROOM = 0.3;               // less of it as the refused call had room left
     private static final double GROW = 0.15;                  // growth of a pace in use, a second
+    private static final double REGROW = 1.5;                 // the same where a told limit rose since a cut
+    private static final double ROSE = 1.5, ROOM = 0.5;       // so many times, and has such a share left
     private static final long FULL_PAUSE_NS = 200_000_000L;   // first pause after "full" without a told wait
     private static final double MOST_CROWD = 30;              // times longer where many senders share it
     private static final double MOST_CROWD_FULL = 5;          // where nothing failed of late: a limit
@@ -87,9 +89,10 @@
         int run, overdue, batch;
         double usual, recent;                       // time of a delivered call: lasting, and of late
         double weight, norm;                        // calls a second: listed for all, own at most
+        double cutWeight;                           // the former when the pace was last cut
         double pace = Double.POSITIVE_INFINITY, level = 1, sick;
         long refilled, pauseUntil, pause, lastCut, lastFull, lastBad, rampFrom;
-        boolean ramping, idle, told;                // told: its limit comes with its answers
+        boolean ramping, idle, told, room;          // told: its limit comes with its answers; room: much left
         long answered;                              // calls delivered so far
 
         Circuit(String name, long now) {
@@ -148,7 +151,10 @@
             double rate = rate(now), dt = (now - refilled) / 1e9;
             refilled = now;
             if (level < 1 && now - lastFull > BUCKET_NS && !ramping) {
-                pace *= Math.exp(GROW * dt);
+                double share = weight / settings.senders();
+                boolean rose = room && weight > ROSE * cutWeight;
+                pace = rose && pace < share ? Math.min(share, pace * Math.exp(REGROW * dt))
+                        : pace * Math.exp(GROW * dt);
             }
             level = Double.isInfinite(rate) ? 1
                     : Math.min(Math.max(1, ramping ? 1 : rate * DEPTH_S), level + rate * dt);
@@ -340,6 +346,7 @@
                 pace = Math.max(0.3, (CUT - CUT_ROOM * room) * from);
                 lastCut = now;
                 level = Math.min(level, 0);
+                cutWeight = weight;
             }
         }
 
@@ -377,9 +384,11 @@
             if (r.limitPerS() > 0) {
                 weight = r.limitPerS();
                 told = true;
+                room = r.shareLeft() >= ROOM;
                 if (r.shareLeft() < 0.1) {
                     pace = Math.min(pace, Math.max(0.3, r.limitPerS() / settings.senders()));
                     lastFull = now;
+                    cutWeight = weight;
                 }
             }
         }
--- /dev/null
+++ b/src/test/java/elderseam/module/LimitTest.java
@@ -0,0 +1,45 @@
+package elderseam.module;
+
+import static elderseam.module.Rig.MS;
+import static elderseam.module.Rig.S;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.module.Sender.Result;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Limits that endpoints tell with their answers. */
+class LimitTest {
+    private final Rig rig = Rig.simple(40);
+
+    /** Keeps messages waiting and answers after 50 ms, for that long; how many went out. */
+    private int serve(long ns, Result result) {
+        int sent = 0;
+        for (long end = rig.now + ns; rig.now < end; ) {
+            while (rig.messages.values().stream().filter(m -> m.end == null && m.out.isEmpty()).count() < 20) {
+                rig.submit(0, -1, 1);
+            }
+            List<Rig.Attempt> out = new ArrayList<>(rig.out());
+            rig.pass(50 * MS);
+            out.forEach(a -> rig.answer(a, result, 0));
+            sent += out.size();
+        }
+        return sent;
+    }
+
+    /** A limit fell to a tenth for 7 s and rose again: the pace crept up by 15% a second, and 27% were refused. */
+    @Test
+    void aLimitThatRoseAgainIsUsedSoon() {
+        rig.report = new Sender.Report(0.9, 100);
+        serve(2 * S, Result.DELIVERED);
+        rig.report = new Sender.Report(0.02, 10);
+        serve(200 * MS, Result.FULL);
+        int low = serve(5 * S, Result.DELIVERED);
+        rig.report = new Sender.Report(0.9, 100);
+        serve(4 * S, Result.DELIVERED);
+        int high = serve(S, Result.DELIVERED);
+        assertTrue(low < 5 * 12, low + " in 5 s, of 10 a second for two senders");
+        assertTrue(high > 35, high + " in 1 s, of 100 a second for two senders");
+    }
+}
--- a/src/test/java/elderseam/module/Rig.java
+++ b/src/test/java/elderseam/module/Rig.java
@@ -58,6 +58,7 @@
     long now = 1_000 * S;
     int subscribes;
     int timersSet;
+    Sender.Report report = Sender.Report.NONE;   // what the next answers tell
     double patience = 1;   // share of the class's time that the next messages have left
     private int ids;
 
@@ -168,7 +169,7 @@
             waits.merge(route(a.endpoint()), now + waitNs, Math::max);
         }
         brain.outcome(now, new Sender.Outcome(a.id(), a.number(), a.endpoint(), result, now - a.start(), waitNs,
-                false, s.end != null, Sender.Report.NONE));
+                false, s.end != null, report));
     }
 
     private String route(String endpoint) {
