Idle connections make room before new ones that have not had time to ask

A probe showed no refusal of ours; 1265 connections closed before they had asked anything, 483 of them within 100 ms of being accepted, in bursts of 400 a second of connections that asked GET /health/ready and stayed.

At fault: Downstreams.Downstream.rank put every silent connection before those idle for less than 2.1 s, so that in a crowd of idle ones each new connection was closed by the next.

Now a silent connection goes first only after 1 s; before that idle ones make room, oldest first.

GuardTest.aNewConnectionOutlivesACrowd... fails without it.

--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/Downstreams.java
@@ -22,7 +22,7 @@
     private static final long TAKEN_NS = 2_400 * Clock.MS;          // for an answer to be taken
     private static final long KEPT_NS = 60_000 * Clock.MS;          // without a request
     private static final long KEPT_SHORT_NS = 2_100 * Clock.MS;     // the same, once half the bound is reached
-    private static final long SILENT_NS = 200 * Clock.MS;           // a new connection gets so long, if it can be had
+    private static final long SILENT_NS = 1_000 * Clock.MS;         // idle ones go first while a new one is younger
     private static final long LOOK_NS = 100 * Clock.MS;
 
     private enum State { READING, ASKED, ANSWERED, IDLE }
@@ -103,7 +103,7 @@
         /** How readily it is given up for a new one; 4: not at all. */
         private int rank(long now) {
             boolean silent = state == State.READING, idle = state == State.IDLE;
-            return silent && now - since > SILENT_NS ? 0 : idle && now - since > KEPT_SHORT_NS ? 1 : silent ? 2 : idle ? 3 : 4;
+            return silent && now - since > SILENT_NS ? 0 : idle && now - since > KEPT_SHORT_NS ? 1 : idle ? 2 : silent ? 3 : 4;
         }
     }
 
--- a/src/test/java/elderseam/scenario/GuardTest.java
+++ b/src/test/java/elderseam/scenario/GuardTest.java
@@ -95,6 +95,17 @@
         plays(script + "s0 wait closed 3000\ns200 wait closed 3000\n{good}");
     }
 
+    /** A new connection must have time to send: while idle ones can make room, it is not taken for a silent one. */
+    @Test
+    void aNewConnectionOutlivesACrowdThatAskedOnce() throws Exception {
+        StringBuilder script = new StringBuilder();
+        for (int i = 0; i < 200; i++) {
+            script.append(i == 140 ? "c raw\n" : "")
+                    .append("s").append(i).append(" send GET /health/ready\ns").append(i).append(" expect 200\n");
+        }
+        plays(script + "{good}");
+    }
+
     /** Bodies that are being read share a bound (1 MB here): the one too many is turned away, not read into memory. */
     @Test
     void halfBodiesStayUnderTheirBound() throws Exception {
