--- /dev/null
+++ b/src/test/java/elderseam/deploy/ServeScriptTest.java
@@ -0,0 +1,38 @@
+package elderseam.deploy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What deploy/serve.sh makes of the memory limit, shown by a java that only tells its arguments. */
+class ServeScriptTest {
+    @TempDir
+    Path folder;
+
+    private String arguments(String config) throws Exception {
+        Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder b = new ProcessBuilder("sh", "deploy/serve.sh").redirectErrorStream(true);
+        b.environment().putAll(Map.of("PATH", folder + ":" + System.getenv("PATH"), "RELAY_CONFIG", file.toString()));
+        return new String(b.start().getInputStream().readAllBytes());
+    }
+
+    private void tells(String config, String heap, String direct) throws Exception {
+        String told = arguments(config);
+        assertTrue(told.contains("-Xmx" + heap) && told.contains("MaxDirectMemorySize=" + direct) && told.contains(" serve"), told);
+    }
+
+    /** A heap of 64 MB under any limit would have the process killed under a small one. */
+    @Test
+    void heapAndBuffersFollowTheLimit() throws Exception {
+        tells("{\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":256},\"known\":{}}", "64m", "10m");
+        tells("{\"limits\":{\n \"memory_mb\" : 96,\n \"sockets\":256}}", "32m", "8m");
+        tells("{\"limits\":{\"memory_mb\":40}}", "24m", "6m");
+        tells("{}", "64m", "12m");
+    }
+}
