A fast start, recovery in portions, and nothing decided before all has been read

Loaded: 1,683 classes from jars, 306 of them Jackson's databind, the JVM's whole management for MBeans of XNIO that nobody reads, CloudEvents and its SDK. XNIO (read in its loop) runs every timer that has come due before it looks at a socket: after a pause calls were given up whose answers lay there, and sends went out before a told wait was read. A call decided before a wait could leave after it, once its connection came up. Ruled out: full disk, descriptors (349 of 384), the module's order.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -7,6 +7,6 @@
     [ "$3" -lt "$1" ] && echo "$1" || { [ "$3" -gt "$2" ] && echo "$2" || echo "$3"; }
 }
 heap=$(within 24 64 $((memory - 64)))
-exec java -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -Xss256k \
+exec java -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -Xss256k \
     -Xms"$(within 24 48 "$heap")"m -Xmx"$heap"m -XX:MaxDirectMemorySize="$(within 6 12 $((memory / 12)))"m \
     -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -jar target/elderseam.jar serve "$@"
--- a/src/main/java/elderseam/cloudevents/EventUpstream.java
+++ b/src/main/java/elderseam/cloudevents/EventUpstream.java
@@ -1,5 +1,6 @@
 package elderseam.cloudevents;
 
+import elderseam.core.Attempt;
 import elderseam.core.Clock;
 import elderseam.core.Stream;
 import elderseam.core.Upstream;
@@ -11,7 +12,6 @@
 import elderseam.http.Connections;
 import elderseam.http.Reply;
 import elderseam.http.UpstreamHost;
-import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Delivers events in binary mode to the upstream hosts of their destination. */
@@ -26,10 +26,10 @@
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Consumer<End> end) {
+    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
         EventCodec.Outgoing o = EventCodec.outgoing(m.body());
         return connections.send(hosts.apply(host), new Call("POST", "/events", o.headers(), o.payload()), connectBy, answerBy,
-                r -> end.accept(meaning(r)))::abandon;
+                attempt::mayLeave, r -> attempt.answeredLate(meaning(r)), r -> attempt.ended(meaning(r)))::abandon;
     }
 
     @Override
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -69,13 +69,37 @@
             case DELIVERED -> Result.DELIVERED;
             case ERROR -> Result.ERROR;
             case FULL -> Result.FULL;
-            case NO_SLOT, SPENT, OVER -> Result.NOT_SENT;
+            case NO_SLOT, SPENT, OVER, HELD -> Result.NOT_SENT;
             case BROKEN -> end.mayHaveRun() ? Result.RESET : Result.CONNECT_FAILED;
             case TIMED_OUT -> end.mayHaveRun() ? Result.TIMEOUT : Result.CONNECT_FAILED;
             case ABANDONED -> end.mayHaveRun() ? Result.CANCELLED : Result.CONNECT_FAILED;
         };
     }
 
+    /** The answer of an attempt that had been given up: its wait and its report of a limit count, its end is past. */
+    void reportLate(long time, String host, UpstreamRequest.End end) {
+        at(time);
+        brain.heard(now, host, end.waitNs(), new Sender.Report(end.shareLeft(), end.limitPerS()));
+    }
+
+    /** An answer, though late, says that the stream is done: nothing is to be sent for it any more. */
+    void delivered(long time, String id) {
+        at(time);
+        brain.withdrawn(now, id);
+    }
+
+    /** Nobody looked at the network for so long. */
+    void away(long time, long ns) {
+        at(time);
+        brain.unseen(now, ns);
+    }
+
+    /** Whether a call to that host may still begin. */
+    boolean mayCall(long time, String host) {
+        now = Math.max(now, time);
+        return brain.mayCall(now, host);
+    }
+
     /** The list of hosts changed, was told whole, or could not be had. */
     void report(long time, Sender.ListKind kind, List<Sender.Endpoint> hosts) {
         at(time);
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -25,7 +25,7 @@
  */
 public final class Journal implements AutoCloseable {
     private static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6;
-    private static final int HEAD = 8, MOST = 256 << 10;
+    private static final int HEAD = 8, MOST = 256 << 10, WINDOW = 1 << 20;
     private static final int BOOKKEEPING = 512;   // kept free for the later records of each unfinished message
     private static final int MARGIN = 16 << 10;
 
@@ -222,6 +222,11 @@
         return back;
     }
 
+    /** Whether anything of that front is unfinished or owed. */
+    public boolean owes(byte front) {
+        return entries.values().stream().anyMatch(e -> e.front == front && (e.answer == null || e.owed));
+    }
+
     /** The ends that are yet to be told; the bodies are gone. */
     Map<Stream.Message, Answer> owed() {
         Map<Stream.Message, Answer> owed = new LinkedHashMap<>();
@@ -339,31 +344,43 @@
         });
     }
 
+    /** Reads by the window: a call for each record of a full file took longer than all the rest of a start. */
     private void replay() throws IOException {
         long length = channel.size();
-        ByteBuffer head = ByteBuffer.allocate(HEAD);
-        while (size + HEAD <= length) {
-            head.clear();
-            channel.read(head, size);
-            head.flip();
-            int bytes = head.getInt();
-            int sum = head.getInt();
-            if (bytes <= 0 || bytes > MOST || size + HEAD + bytes > length) {
+        ByteBuffer window = ByteBuffer.allocate((int) Math.min(length, WINDOW));
+        window.flip();
+        while (size + HEAD <= length && fill(window, HEAD, size)) {
+            int bytes = window.getInt(window.position());
+            int sum = window.getInt(window.position() + 4);
+            if (bytes <= 0 || bytes > MOST || size + HEAD + bytes > length || !fill(window, HEAD + bytes, size)) {
                 break;
             }
-            byte[] content = new byte[bytes];
-            channel.read(ByteBuffer.wrap(content), size + HEAD);
-            if (checksum(content, 0, bytes) != sum) {
+            int from = window.position() + HEAD;
+            if (checksum(window.array(), from, bytes) != sum) {
                 break;
             }
-            apply(content);
+            apply(new DataInputStream(new ByteArrayInputStream(window.array(), from, bytes)), bytes);
+            window.position(from + bytes);
             size += HEAD + bytes;
         }
         channel.truncate(size);
     }
 
-    private void apply(byte[] content) throws IOException {
-        DataInputStream in = new DataInputStream(new ByteArrayInputStream(content));
+    /** Sees to it that the window holds so many bytes from its position on, which is that place of the file. */
+    private boolean fill(ByteBuffer window, int bytes, long at) throws IOException {
+        if (window.remaining() >= bytes) {
+            return true;
+        }
+        window.compact();
+        long from = at + window.position();
+        for (int n = 0; window.hasRemaining() && n >= 0; from += Math.max(0, n)) {
+            n = channel.read(window, from);
+        }
+        window.flip();
+        return window.remaining() >= bytes;
+    }
+
+    private void apply(DataInputStream in, int bytes) throws IOException {
         byte type = in.readByte();
         String id = in.readUTF();
         Entry e = entries.get(id);
@@ -382,7 +399,7 @@
                 in.readFully(body);
                 put(new Stream.Message(id, front, cls, tenant, destination, deadline, keep, again,
                         heedsWindow, key, body),
-                        HEAD + content.length);
+                        HEAD + bytes);
             }
             case SENT -> sent(e, in.readLong());
             case RESULT -> result(e, in.readBoolean());
--- /dev/null
+++ b/src/main/java/elderseam/core/Json.java
@@ -0,0 +1,119 @@
+package elderseam.core;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A JSON value as read, on jackson-core alone: an object, a list, or a plain value by its text. Databind's tree would
+ * load four hundred classes more before the first message (docs/recovery.md has the figures). Nesting is bounded to
+ * {@value #MOST_DEPTH}.
+ */
+public final class Json {
+    private static final int MOST_DEPTH = 64;
+    private static final Json ABSENT = new Json(null);
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build()).build();
+
+    private final Object value;   // Map, List, String, or null
+
+    private Json(Object value) {
+        this.value = value;
+    }
+
+    /** Reads one value; what follows it must be white space. Faults name line and column. */
+    public static Json read(byte[] bytes) throws IOException {
+        try (JsonParser p = FACTORY.createParser(bytes)) {
+            if (p.nextToken() == null) {
+                throw new IOException("no JSON value at all");
+            }
+            Json whole = value(p);
+            if (p.nextToken() != null) {
+                throw new IOException("more than one JSON value");
+            }
+            return whole;
+        }
+    }
+
+    private static Json value(JsonParser p) throws IOException {
+        JsonToken t = p.currentToken();
+        if (t == JsonToken.START_OBJECT) {
+            Map<String, Json> fields = new LinkedHashMap<>();
+            while (p.nextToken() != JsonToken.END_OBJECT) {
+                String name = p.currentName();
+                p.nextToken();
+                fields.put(name, value(p));
+            }
+            return new Json(fields);
+        }
+        if (t == JsonToken.START_ARRAY) {
+            List<Json> items = new ArrayList<>();
+            while (p.nextToken() != JsonToken.END_ARRAY) {
+                items.add(value(p));
+            }
+            return new Json(items);
+        }
+        return t == JsonToken.VALUE_NULL ? ABSENT : new Json(p.getText());
+    }
+
+    public boolean isObject() {
+        return value instanceof Map;
+    }
+
+    public boolean isList() {
+        return value instanceof List;
+    }
+
+    /** Whether there is a value other than null. */
+    public boolean told() {
+        return value != null;
+    }
+
+    /** A field of an object; an absent one is a value that is not told. */
+    public Json at(String name) {
+        return fields().getOrDefault(name, ABSENT);
+    }
+
+    @SuppressWarnings("unchecked")
+    public Map<String, Json> fields() {
+        return value instanceof Map ? (Map<String, Json>) value : Map.of();
+    }
+
+    @SuppressWarnings("unchecked")
+    public List<Json> items() {
+        return value instanceof List ? (List<Json>) value : List.of();
+    }
+
+    /** A plain value as written. */
+    public String text(String absent) {
+        return value instanceof String s ? s : absent;
+    }
+
+    /** A number; what is none counts as absent. */
+    public double real(double absent) {
+        try {
+            return value instanceof String s ? Double.parseDouble(s) : absent;
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
+    /** A whole number; a fraction is cut off. */
+    public long whole(long absent) {
+        try {
+            return value instanceof String s ? Long.parseLong(s) : absent;
+        } catch (NumberFormatException e) {
+            return (long) real(absent);
+        }
+    }
+
+    public boolean flag() {
+        return "true".equals(value);
+    }
+}
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -5,38 +5,36 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /**
  * Takes streams on, carries out what the module decides and sees to it that each ends once. Owned by one thread;
  * nothing here blocks.
  */
 public final class Relay {
-    /** Runs a task on the owning thread, at that time or soon after. */
-    public interface Timers {
-        void at(long time, Runnable task);
-    }
-
     private static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
+    /** Kept of a stream's time to tell its end in: a thread that is late for so long still tells it in time. */
+    private static final long TELLING_NS = 80 * Clock.MS;
+    private static final long LOOK_NS = 5 * Clock.MS;
 
     private final Sender.Settings settings;
     private final Facade facade;
     private final Journal journal;
     private final Clock clock;
-    private final Timers timers;
+    private final Loop loop;
     private final Map<Byte, Front> fronts = new HashMap<>();
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
     private Runnable watch = () -> { };
-    private boolean turning;
+    private boolean turning, postponed;
     private long tickAt = Long.MAX_VALUE;
     private int out;
 
-    public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Timers timers) {
+    public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
-        this.timers = timers;
+        this.loop = loop;
         this.facade = new Facade(settings, seed, words -> System.err.println("module: " + words));
     }
 
@@ -57,8 +55,12 @@
         turn();
     }
 
-    /** Takes back what the journal holds unfinished; answers that were still owed go to their fronts. */
-    public void restore() {
+    /**
+     * Takes back what the journal holds unfinished, as {@link Recovery} says, with a pass over the sockets between two
+     * portions; answers that an earlier process still owed go to their fronts first. {@code ready} is run once, when
+     * the process may call itself ready; {@code untold}: answers that the fronts have yet to tell.
+     */
+    public void recover(IntSupplier untold, Runnable ready) {
         List<Stream> back = journal.unfinished();
         for (Stream s : back) {
             if (s.mayHaveRun) {
@@ -66,15 +68,53 @@
             }
             s.owned = true;
             streams.put(s.id(), s);
-            facade.take(clock.now(), s);
         }
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
+        Recovery recovery = new Recovery(back, settings.classes(), settings.slots(), clock.now());
+        boolean[] told = new boolean[1];
+        loop.at(recovery.latest(), () -> readyOnce(told, ready));
+        recover(recovery, untold, told, ready);
+    }
+
+    private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
+        Runnable again = () -> recover(recovery, untold, told, ready);
+        if (loop.late()) {
+            loop.afterReading(again);
+            return;
+        }
+        long start = clock.now();
+        for (Stream s : recovery.next()) {
+            if (streams.get(s.id()) == s) {
+                facade.take(clock.now(), s);
+            }
+        }
+        turn();
+        recovery.took(clock.now() - start);
+        if (recovery.stage() != Recovery.Stage.DONE) {
+            loop.afterReading(again);
+        } else if (recovery.ready(clock.now(), untold.getAsInt())) {
+            readyOnce(told, ready);
+        } else if (!told[0]) {   // answers are under way
+            loop.at(clock.now() + LOOK_NS, again);
+        }
+    }
+
+    private static void readyOnce(boolean[] told, Runnable ready) {
+        if (!told[0]) {
+            told[0] = true;
+            ready.run();
+        }
+    }
+
+    /** Nobody looked at the network for so long; what had arrived meanwhile has been read. */
+    public void away(long ns) {
+        facade.away(clock.now(), ns);
         turn();
     }
 
     /**
      * Takes a stream on, or gives its final answer at once: null means taken on, or held already. What ends here
-     * is not told to the front again.
+     * is not told to the front again. While the thread is late it is taken on without a decision, which follows.
      */
     public Answer take(Stream.Message message) {
         Answer known = journal.answer(message.id());
@@ -117,10 +157,21 @@
         return out;
     }
 
+    /** What the module decides now is carried out; after a pause only once all that had arrived is read. */
     private void turn() {
         if (turning) {
             return;
         }
+        if (loop.late()) {
+            if (!postponed) {
+                postponed = true;
+                loop.at(clock.now(), () -> {
+                    postponed = false;
+                    turn();
+                });
+            }
+            return;
+        }
         turning = true;
         do {   // the next tick is known only after the picking, which may ask for one and do nothing else
             facade.tick(clock.now());
@@ -133,7 +184,7 @@
         if (next < tickAt) {
             long at = next;
             tickAt = at;
-            timers.at(at, () -> {
+            loop.at(at, () -> {
                 if (at == tickAt) {   // one that an earlier tick has replaced must not set a timer of its own
                     tickAt = Long.MAX_VALUE;
                     turn();
@@ -164,28 +215,63 @@
         if (s == null) {
             return;
         }
-        int attempt = s.attempts++;
-        long start = clock.now();
+        long start = clock.now(), left = s.message.deadline() - start;
         out++;
-        long connectBy = Math.min(answerBy, start + settings.connections().timeoutNs());
-        Consumer<UpstreamRequest.End> ended = end -> {
+        Leg leg = new Leg(s, s.attempts++, host, start);
+        long by = Math.min(answerBy, s.message.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)));
+        if (journal.sent(s.id())) {
+            s.out = upstreams.get(s.message.front()).send(s.message, host,
+                    Math.min(by, start + settings.connections().timeoutNs()), by, leg);
+        } else {   // unrecorded, it must not leave
+            loop.at(start, () -> leg.ended(UpstreamRequest.End.unanswered(
+                    UpstreamRequest.Progress.NOT_CONNECTED, UpstreamRequest.Status.BROKEN)));
+        }
+    }
+
+    /** One attempt, as its upstream knows it. */
+    private final class Leg implements Attempt {
+        private final Stream stream;
+        private final int number;
+        private final String host;
+        private final long start;
+
+        Leg(Stream stream, int number, String host, long start) {
+            this.stream = stream;
+            this.number = number;
+            this.host = host;
+            this.start = start;
+        }
+
+        @Override
+        public boolean mayLeave() {
+            return facade.mayCall(clock.now(), host);
+        }
+
+        @Override
+        public void ended(UpstreamRequest.End end) {
             out--;
-            s.out = null;
-            journal.result(s.id(), end.mayHaveRun());
-            s.mayHaveRun |= end.mayHaveRun();
-            facade.report(clock.now(), s.id(), attempt, host, start, end);
+            stream.out = null;
+            journal.result(stream.id(), end.mayHaveRun());
+            stream.mayHaveRun |= end.mayHaveRun();
+            facade.report(clock.now(), stream.id(), number, host, start, end);
             if (end.status() == UpstreamRequest.Status.DELIVERED) {
-                end(s, Answer.DELIVERED);
+                end(stream, Answer.DELIVERED);
             } else if (end.status() == UpstreamRequest.Status.OVER) {
-                end(s, Answer.OVER);
+                end(stream, Answer.OVER);
+            }
+            turn();
+        }
+
+        /** The delivery of one that is out again, or has its end, does not count a second time. */
+        @Override
+        public void answeredLate(UpstreamRequest.End end) {
+            facade.reportLate(clock.now(), host, end);
+            boolean over = end.status() == UpstreamRequest.Status.DELIVERED || end.status() == UpstreamRequest.Status.OVER;
+            if (over && stream.out == null && streams.get(stream.id()) == stream) {
+                facade.delivered(clock.now(), stream.id());
+                end(stream, end.status() == UpstreamRequest.Status.OVER ? Answer.OVER : Answer.DELIVERED);
             }
             turn();
-        };
-        if (journal.sent(s.id())) {
-            s.out = upstreams.get(s.message.front()).send(s.message, host, connectBy, answerBy, ended);
-        } else {   // unrecorded, it must not leave
-            timers.at(start, () -> ended.accept(UpstreamRequest.End.unanswered(
-                    UpstreamRequest.Progress.NOT_CONNECTED, UpstreamRequest.Status.BROKEN)));
         }
     }
 
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -23,18 +24,21 @@
 
 /**
  * Connections to other hosts, kept while idle for less than those hosts allow. One carries a request at a time, and
- * nothing is ever sent again from here. A request that is given up closes its connection, so that no copy stays out; so
- * does an answer that is spoilt, or that is followed by what does not belong to it.
+ * nothing is ever sent again from here. A request that is given up ends the sending on its connection, so that no copy
+ * stays out, and that connection is closed after a second, or sooner where room is needed. An answer that is spoilt, or
+ * followed by what does not belong to it, closes its connection at once.
  */
 public final class Connections {
     private static final long WHOLE_NS = 700 * Clock.MS;            // from the first byte of an answer to its last
     private static final long LOOK_NS = 100 * Clock.MS;
+    private static final long LISTEN_NS = 1_000 * Clock.MS;         // for the answer to a request given up
+    private static final int MOST_LISTENING = 32;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-    /** An open connection: the request on it, or since when it stands idle. */
+    /** An open connection: the request on it, or since when it stands idle, or the request given up on it. */
     private final class Link {
         final StreamConnection channel;
-        Request current;
+        Request current, givenUp;
         long since;
         boolean closed;
 
@@ -49,6 +53,7 @@
             if (!closed) {
                 closed = true;
                 open--;
+                listening.remove(this);
                 IoUtils.safeClose(channel);
             }
         }
@@ -70,7 +75,9 @@
 
         private void readable() {
             for (int n = read(); n != 0 && !closed; n = read()) {
-                if (current == null) {   // nothing was asked
+                if (givenUp != null) {
+                    givenUp.cameLate(n, this);
+                } else if (current == null) {   // nothing was asked
                     forget(this);
                     close();
                 } else if (current.came(n)) {
@@ -91,6 +98,7 @@
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
     private final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
     private int open;                                                          // with those still connecting
+    private final ArrayDeque<Link> listening = new ArrayDeque<>();             // oldest first
     private boolean looking;
 
     /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once;
@@ -112,7 +120,14 @@
 
     /** Sends a request; {@code done} is told once, never from within this call. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
-        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, done);
+        return send(host, call, connectBy, answerBy, () -> true, null, done);
+    }
+
+    /** The same; {@code mayLeave} is asked before bytes leave, and {@code late}, where there is one, is told of an
+     *  answer that came after the request was given up: for a second more its connection is listened to. */
+    public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, BooleanSupplier mayLeave,
+                        Consumer<Reply> late, Consumer<Reply> done) {
+        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, late, done);
         r.start();
         return r;
     }
@@ -139,8 +154,12 @@
         idle.values().removeIf(kept -> kept.remove(link) && kept.isEmpty());
     }
 
-    /** Closes what has stood idle longest, to any host; false where nothing does. */
+    /** Closes one that carries nothing that is owed: listened to, or idle for longest, to any host. */
     private boolean makeRoom() {
+        if (!listening.isEmpty()) {
+            listening.peekFirst().close();
+            return true;
+        }
         UpstreamHost longest = idle.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
                 .map(Map.Entry::getKey).orElse(null);
         if (longest == null) {
@@ -158,7 +177,7 @@
     }
 
     private void look() {
-        if (!looking && !idle.isEmpty()) {
+        if (!looking && !(idle.isEmpty() && listening.isEmpty())) {
             looking = true;
             io.at(io.clock.now() + LOOK_NS, () -> {
                 looking = false;
@@ -169,6 +188,10 @@
                     forget(link);
                     link.close();
                 });
+                long heard = io.clock.now() - LISTEN_NS;
+                while (!listening.isEmpty() && listening.peekFirst().since <= heard) {
+                    listening.peekFirst().close();
+                }
                 look();
             });
         }
@@ -179,19 +202,24 @@
         private final UpstreamHost host;
         private final ByteBuffer bytes;
         private final long connectBy, answerBy;
-        private final Consumer<Reply> done;
+        private final BooleanSupplier mayLeave;
+        private final Consumer<Reply> late, done;
         private final AnswerReader answer = new AnswerReader(mostBody);
         private Progress progress = Progress.NOT_CONNECTED;
         private Link link;
         private IoFuture<StreamConnection> connecting;
         private XnioExecutor.Key timer;
+        private int armed;            // counts timers: one that was replaced may have come due, and wait its turn
         private boolean answering, over;
 
-        private Request(UpstreamHost host, ByteBuffer bytes, long connectBy, long answerBy, Consumer<Reply> done) {
+        private Request(UpstreamHost host, ByteBuffer bytes, long connectBy, long answerBy, BooleanSupplier mayLeave,
+                        Consumer<Reply> late, Consumer<Reply> done) {
             this.host = host;
             this.bytes = bytes;
             this.connectBy = connectBy;
             this.answerBy = answerBy;
+            this.mayLeave = mayLeave;
+            this.late = late;
             this.done = done;
         }
 
@@ -231,6 +259,7 @@
                 return;
             }
             link = fresh;
+            expire(answerBy, Status.TIMED_OUT);
             io.run(this::begin);
         }
 
@@ -238,13 +267,22 @@
             if (timer != null) {
                 timer.remove();
             }
-            timer = io.at(by, () -> finish(as));
+            int number = ++armed;
+            timer = io.timer(by, () -> {
+                if (number == armed) {
+                    giveUp(as);
+                }
+            });
         }
 
         private void begin() {
             if (over || link == null || progress != Progress.NOT_CONNECTED) {
                 return;
             }
+            if (!mayLeave.getAsBoolean()) {
+                finish(Status.HELD);
+                return;
+            }
             expire(answerBy, Status.TIMED_OUT);
             progress = Progress.PARTLY_WRITTEN;
             write(link.channel.getSinkChannel());
@@ -254,14 +292,18 @@
         private void write(ConduitStreamSinkChannel to) {
             try {
                 while (!over && bytes.hasRemaining()) {
-                    if (to.write(bytes) == 0) {
+                    if (!mayLeave.getAsBoolean()) {   // cut off, it never runs
+                        finish(Status.HELD);
+                    } else if (to.write(bytes) == 0) {
                         to.setWriteListener(this::write);
                         to.resumeWrites();
                         return;
                     }
                 }
-                to.suspendWrites();
-                progress = Progress.WRITTEN;
+                if (!over) {
+                    to.suspendWrites();
+                    progress = Progress.WRITTEN;
+                }
             } catch (IOException x) {
                 finish(Status.BROKEN);
             }
@@ -299,10 +341,55 @@
 
         /** Gives the request up; its end is told before this returns. */
         public void abandon() {
-            finish(Status.ABANDONED);
+            giveUp(Status.ABANDONED);
+        }
+
+        /** What has arrived counts first: it may be the answer, or tell of a wait. */
+        private void giveUp(Status why) {
+            if (!over && link != null && progress == Progress.WRITTEN) {
+                link.readable();
+            }
+            finish(why);
+        }
+
+        /** Ends the sending, which gives the request up as a close would, and listens for what is under way. */
+        private boolean listens(Status why) {
+            if (late == null || progress != Progress.WRITTEN || why != Status.TIMED_OUT && why != Status.ABANDONED) {
+                return false;
+            }
+            try {
+                link.channel.getSinkChannel().shutdownWrites();
+                link.channel.getSinkChannel().flush();
+            } catch (IOException e) {
+                return false;
+            }
+            if (listening.size() >= MOST_LISTENING) {
+                listening.peekFirst().close();
+            }
+            link.givenUp = this;
+            link.since = io.clock.now();
+            listening.add(link);
+            look();
+            return true;
+        }
+
+        /** So many bytes came for a request given up, or its end. */
+        private void cameLate(int n, Link from) {
+            if (n < 0) {
+                answer.ended();
+            } else {
+                answer.read(buffer);
+            }
+            if (answer.whole() || answer.spoilt() || n < 0) {
+                from.givenUp = null;
+                from.close();
+                if (answer.whole()) {
+                    late.accept(new Reply(Progress.ANSWERED, null, answer.code(), answer.headers(), answer.body()));
+                }
+            }
         }
 
-        /** With no failure the connection can be used again; a whole answer counts in any case. */
+        /** With no failure, or nothing sent, the connection can be used again; a whole answer counts in any case. */
         private void finish(Status failure) {
             if (over) {
                 return;
@@ -313,9 +400,9 @@
             }
             if (link != null) {
                 link.current = null;
-                if (failure == null) {
+                if (failure == null || failure == Status.HELD && progress == Progress.NOT_CONNECTED) {
                     keep(host, link);
-                } else {
+                } else if (!listens(failure)) {
                     link.close();
                 }
             } else if (connecting != null) {
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -24,6 +24,7 @@
         boolean hopeless;
         boolean lost;
         boolean cut;
+        long unseen;                 // time since its start in which nobody looked for an answer
         long idleNs;                 // how long its connection had idled before; 0: new or in use
 
         Call(Brain.Circuit circuit, Target target, long start, long turn, long answeredBefore) {
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -175,7 +175,7 @@
             long limit = (long) Math.max(OVERDUE_NS, times * Math.max(usualNs(), recent));
             lateNs = limit + 1;
             for (Call c : out) {
-                long late = c.start + limit, hopeless = c.start + (long) (HOPELESS * limit);
+                long late = c.start + c.unseen + limit, hopeless = late + (long) ((HOPELESS - 1) * limit);
                 if (now > late && !c.overdue && !stale(c, now)) {
                     blame(c, true, now);
                 }
@@ -639,6 +639,29 @@
         }
     }
 
+    @Override
+    public void heard(long now, String endpoint, long waitNs, Sender.Report report) {
+        advance(now);
+        Target t = targets.get(endpoint);
+        if (t != null) {
+            t.circuit.waitUntil = Math.max(t.circuit.waitUntil, now + waitNs);
+            t.circuit.report(report, now);
+        }
+    }
+
+    @Override
+    public void unseen(long now, long ns) {
+        advance(now);
+        busy.forEach(d -> d.circuits.forEach(c -> c.out.forEach(
+                call -> call.unseen = Math.min(now - call.start, call.unseen + ns))));
+    }
+
+    @Override
+    public boolean mayCall(long now, String endpoint) {
+        Target t = targets.get(endpoint);
+        return t != null && t.ready && now >= t.circuit.waitUntil;
+    }
+
     private void ranMaybe(Held m, Call call) {
         if (!m.maybeRan) {
             m.maybeRan = true;
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -153,6 +153,15 @@
         /** An attempt ended. Each send is owed exactly one; a repeated one is passed over. */
         void outcome(long now, Outcome outcome);
 
+        /** An answer came for an attempt that had ended without one: what it told of a wait and of a limit. */
+        void heard(long now, String endpoint, long waitNs, Report report);
+
+        /** The host did not look at the network for so long: no call was silent in that time. */
+        void unseen(long now, long ns);
+
+        /** Whether a call there, decided earlier, may begin now: it is listed as ready and no told wait lasts. */
+        boolean mayCall(long now, String endpoint);
+
         /** The client has withdrawn the message: no answer is owed any more. */
         void withdrawn(long now, String id);
 
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -1,7 +1,6 @@
 package elderseam.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import elderseam.core.Json;
 import elderseam.core.SettingsMap;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,23 +12,23 @@
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
  *  SIGHUP. Where both name discovery the file counts, since it may have been replaced. */
 public record Config(InetSocketAddress listen, String discovery, Path state, long seed, Limits limits,
-                     SettingsMap settings, JsonNode known) {
+                     SettingsMap settings, Json known) {
 
     public static Config read(Map<String, String> variables) throws IOException {
-        JsonNode json = new ObjectMapper().readTree(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
+        Json json = Json.read(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
         if (!json.isObject()) {
             throw new IOException("the configuration is no JSON object");
         }
-        String discovery = json.hasNonNull("discovery") ? json.get("discovery").asText() : told(variables, "RELAY_DISCOVERY");
+        String discovery = json.at("discovery").told() ? json.at("discovery").text("") : told(variables, "RELAY_DISCOVERY");
         address(discovery);   // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
-        flatten("", json.path("settings"), paths);
-        long seed = Long.parseUnsignedLong(json.path("seed").asText("1"), 16);
-        JsonNode told = json.path("limits");
-        Limits limits = new Limits((long) (told.path("disk_mb").asDouble(3) * 1_000_000),
-                told.path("sockets").asInt(1_024), told.path("memory_mb").asInt(192));
+        flatten("", json.at("settings"), paths);
+        long seed = Long.parseUnsignedLong(json.at("seed").text("1"), 16);
+        Json told = json.at("limits");
+        Limits limits = new Limits((long) (told.at("disk_mb").real(3) * 1_000_000),
+                (int) told.at("sockets").whole(1_024), (int) told.at("memory_mb").whole(192));
         return new Config(address(told(variables, "RELAY_LISTEN")), discovery,
-                Path.of(told(variables, "RELAY_STATE")), seed, limits, new SettingsMap(paths), json.path("known"));
+                Path.of(told(variables, "RELAY_STATE")), seed, limits, new SettingsMap(paths), json.at("known"));
     }
 
     private static String told(Map<String, String> variables, String name) {
@@ -48,21 +47,20 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    private static void flatten(String path, JsonNode node, Map<String, String> into) {
+    private static void flatten(String path, Json node, Map<String, String> into) {
         if (node.isObject()) {
-            node.fields().forEachRemaining(f ->
-                    flatten(path.isEmpty() ? f.getKey() : path + "." + f.getKey(), f.getValue(), into));
-        } else if (node.isArray() && (node.isEmpty() || !node.get(0).isObject())) {
+            node.fields().forEach((name, field) -> flatten(path.isEmpty() ? name : path + "." + name, field, into));
+        } else if (node.isList() && (node.items().isEmpty() || !node.items().get(0).isObject())) {
             StringBuilder list = new StringBuilder();
-            node.forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.asText()));
+            node.items().forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.text("")));
             into.put(path, list.toString());
-        } else if (node.isArray()) {
-            into.put(path + ".count", Integer.toString(node.size()));
-            for (int i = 0; i < node.size(); i++) {
-                flatten(path + "." + i, node.get(i), into);
+        } else if (node.isList()) {
+            into.put(path + ".count", Integer.toString(node.items().size()));
+            for (int i = 0; i < node.items().size(); i++) {
+                flatten(path + "." + i, node.items().get(i), into);
             }
         } else {
-            into.put(path, node.asText());
+            into.put(path, node.text("null"));
         }
     }
 }
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -1,8 +1,7 @@
 package elderseam.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.core.Clock;
+import elderseam.core.Json;
 import elderseam.core.Relay;
 import elderseam.http.Call;
 import elderseam.http.Connections;
@@ -21,7 +20,6 @@
     private static final long WAIT_MS = 5_000;                      // a silent discovery shows after this
     private static final long ANSWER_NS = 1_700 * Clock.MS;         // and so much more for the answer
 
-    private final ObjectMapper json = new ObjectMapper();
     private final Io io;
     private final Connections connections;
     private UpstreamHost address;
@@ -39,9 +37,9 @@
     }
 
     /** The list as this dispatcher had it last; it may be old. */
-    public void known(JsonNode list) {
-        version = list.path("version").asLong();
-        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.path("servers"), true));
+    public void known(Json list) {
+        version = list.at("version").whole(0);
+        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.at("servers"), true));
     }
 
     /** Asks for news, unless a call is out. */
@@ -81,12 +79,12 @@
     private void told(Reply reply) {
         if (reply.answered() && reply.failure() == null && reply.code() == 200) {
             try {
-                JsonNode list = json.readTree(reply.body());
-                version = list.path("version").asLong(version);
+                Json list = Json.read(reply.body());
+                version = list.at("version").whole(version);
                 watch();
-                boolean whole = list.path("full").asBoolean();
+                boolean whole = list.at("full").flag();
                 relay.hosts(whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
-                        hosts.decode(list.path("servers"), whole));
+                        hosts.decode(list.at("servers"), whole));
                 return;
             } catch (IOException e) {
                 System.err.println("discovery: " + e.getMessage());
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -1,6 +1,6 @@
 package elderseam.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import elderseam.core.Json;
 import elderseam.core.SettingsMap;
 import elderseam.http.UpstreamHost;
 import elderseam.module.Sender;
@@ -25,17 +25,17 @@
     }
 
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
-    public List<Sender.Endpoint> decode(JsonNode servers, boolean whole) {
+    public List<Sender.Endpoint> decode(Json servers, boolean whole) {
         if (whole) {
             hosts.clear();
         }
         List<Sender.Endpoint> entries = new ArrayList<>();
-        for (JsonNode s : servers) {
-            String id = s.path("id").asText();
-            if (s.hasNonNull("addr")) {
-                hosts.put(id, new UpstreamHost(id, s.get("addr").asText()));
+        for (Json s : servers.items()) {
+            String id = s.at("id").text("");
+            if (s.at("addr").told()) {
+                hosts.put(id, new UpstreamHost(id, s.at("addr").text("")));
             }
-            Sender.Listing listing = switch (s.path("state").asText()) {
+            Sender.Listing listing = switch (s.at("state").text("")) {
                 case "SERVING" -> Sender.Listing.READY;
                 case "DELETED" -> Sender.Listing.GONE;
                 default -> Sender.Listing.DRAINING;
@@ -43,8 +43,8 @@
             if (listing == Sender.Listing.GONE) {
                 hosts.remove(id);
             }
-            entries.add(new Sender.Endpoint(id, s.path("cell").asLong(), Math.max(0, kinds.indexOf(s.path("kind").asText())),
-                    Math.max(0, zones.indexOf(s.path("zone").asText())), listing, s.path("weight").asDouble(1)));
+            entries.add(new Sender.Endpoint(id, s.at("cell").whole(0), Math.max(0, kinds.indexOf(s.at("kind").text(""))),
+                    Math.max(0, zones.indexOf(s.at("zone").text(""))), listing, s.at("weight").real(1)));
         }
         return entries;
     }
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/platform/Notices.java
@@ -11,20 +11,33 @@
 import elderseam.http.UpstreamHost;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
-/** Tells the platform how messages taken on have ended, again and again until it says 204. */
+/**
+ * Tells the platform how messages taken on have ended, again and again until it says 204; those whose time is up soonest
+ * first. Bounded as the messages held are: each is in here once.
+ */
 final class Notices {
     private static final int MOST = 200;                            // lines in one call
     private static final long ANSWER_NS = 800 * Clock.MS, AGAIN_NS = 100 * Clock.MS;
 
+    /** One notice, and when its message's time is up. */
+    private record Line(long due, String id, String text) implements Comparable<Line> {
+        @Override
+        public int compareTo(Line o) {
+            return due != o.due ? Long.compare(due, o.due) : id.compareTo(o.id);
+        }
+    }
+
     private final Io io;
     private final Connections connections;
     private UpstreamHost address;
     private final Relay relay;
-    private final Map<String, String> owed = new LinkedHashMap<>();
+    private final Map<String, Line> owed = new HashMap<>();
+    private final TreeSet<Line> byDue = new TreeSet<>();   // the same, what is due soonest first
     private boolean out;               // a post is under way, or about to be
     private Connections.Request request;
 
@@ -36,7 +49,12 @@
     }
 
     void add(Stream.Message m, Answer answer) {
-        owed.put(m.id(), line(m.id(), answer));
+        Line line = new Line(m.deadline(), m.id(), line(m.id(), answer));
+        Line before = owed.put(m.id(), line);
+        if (before != null) {
+            byDue.remove(before);
+        }
+        byDue.add(line);
         if (!out) {   // what ends in the same turn travels together
             out = true;
             io.run(this::post);
@@ -74,9 +92,9 @@
         }
         List<String> ids = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
-        owed.entrySet().stream().limit(MOST).forEach(e -> {
-            ids.add(e.getKey());
-            lines.append(e.getValue());
+        byDue.stream().limit(MOST).forEach(line -> {
+            ids.add(line.id);
+            lines.append(line.text);
         });
         long by = io.clock.now() + ANSWER_NS;
         Call post = new Call("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
@@ -92,8 +110,10 @@
     private void told(List<String> ids, Reply reply) {
         boolean heard = reply.answered() && reply.code() == 204;
         if (heard) {
-            ids.forEach(owed::remove);
-            ids.forEach(relay::told);
+            ids.forEach(id -> {
+                byDue.remove(owed.remove(id));
+                relay.told(id);
+            });
         }
         out = !owed.isEmpty();
         if (out && heard) {
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -27,7 +27,7 @@
     private final Relay relay;
     private final Notices notices;
     private final List<String> classes, tenants;
-    private boolean ready = true;
+    private boolean ready, closing;
 
     public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings) {
         this.clock = io.clock;
@@ -39,7 +39,7 @@
 
     public void handle(Request r, Answerer to) {
         if (r.path().equals("/health/ready")) {
-            to.answer(ready ? 200 : 503, Map.of(), "");
+            to.answer(ready && !closing ? 200 : 503, Map.of(), "");
             return;
         }
         Object read = decode(r);
@@ -113,7 +113,12 @@
 
     /** The process is to end; no new client is to come. */
     public void closing() {
-        ready = false;
+        closing = true;
+    }
+
+    /** What an earlier process left has been taken back: clients may come. */
+    public void ready() {
+        ready = true;
     }
 
     /** The platform's place for notices is elsewhere from now on. */
--- a/src/main/java/elderseam/platform/PlatformUpstream.java
+++ b/src/main/java/elderseam/platform/PlatformUpstream.java
@@ -1,5 +1,6 @@
 package elderseam.platform;
 
+import elderseam.core.Attempt;
 import elderseam.core.Clock;
 import elderseam.core.SettingsMap;
 import elderseam.core.Stream;
@@ -15,7 +16,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /** A message as a call to an upstream host, and what its answer means. */
 public final class PlatformUpstream implements Upstream {
@@ -34,7 +34,7 @@
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Consumer<End> end) {
+    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Txn", m.id());
         if (!m.key().isEmpty()) {
@@ -42,7 +42,8 @@
         }
         headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
         return connections.send(hosts.host(host), new Call("POST", "/receive", headers, m.body()), connectBy, answerBy,
-                r -> end.accept(meaning(r, fields)))::abandon;
+                attempt::mayLeave, r -> attempt.answeredLate(meaning(r, fields)),
+                r -> attempt.ended(meaning(r, fields)))::abandon;
     }
 
     @Override
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -27,18 +27,34 @@
     private final List<Consumer<End>> out = new ArrayList<>();
     private final List<String> ended = new ArrayList<>();
     private Relay relay;
+    private boolean late;
 
     @BeforeEach
     void start() throws Exception {
         Sender.Settings settings = new SettingsMap(Map.of("discovery", "ask", "extra.callSlots", "40", "limits.mostHeld", "64",
                 "limits.maxAttempts", "3", "services.count", "1", "services.0.effect", "once", "services.0.targetNs",
                 "2000000000", "services.0.giveUpNs", "9000000000")).settings();
-        relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, (at, task) -> timers.add(task));
+        relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, new Loop() {
+            @Override
+            public void at(long time, Runnable task) {
+                timers.add(task);
+            }
+
+            @Override
+            public void afterReading(Runnable task) {
+                timers.add(task);
+            }
+
+            @Override
+            public boolean late() {
+                return late;
+            }
+        });
         relay.front((byte) 0, (m, answer) -> ended.add(m.id() + " " + answer.kind()), new Upstream() {
             @Override
-            public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Consumer<End> end) {
-                out.add(end);
-                return () -> end.accept(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
+            public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
+                out.add(attempt::ended);
+                return () -> attempt.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
             }
 
             @Override
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -353,6 +353,7 @@
                 draining = new CompletableFuture<>(), reloaded = new CompletableFuture<>(), kept = new CompletableFuture<>();
         fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept));
         BufferedReader log = program.inputReader();
+        String[] at = new String[1];
         Thread reader = new Thread(() -> {
             try (Stream<String> lines = log.lines()) {
                 lines.forEach(line -> {
@@ -366,7 +367,9 @@
                     } else if (line.startsWith("configuration kept")) {
                         kept.complete(line);
                     } else if (line.startsWith("serving on /")) {
-                        serving.complete(line.substring(12, line.indexOf(',')));
+                        at[0] = line.substring(12, line.indexOf(','));
+                    } else if (line.startsWith("ready after ")) {
+                        serving.complete(at[0]);
                     }
                 });
             } catch (RuntimeException e) {
