Ready once what is owed is told; while much is taken back, one turn a pass

Seen: at half a core and with 700 messages a start took 1.06 s, since readiness waited for every stream to be fed and each answer had a turn of its own, which looks at every stream that waits.

Now readiness waits for the known ends alone; the rest follows in portions.

--- a/src/main/java/elderseam/core/Recovery.java
+++ b/src/main/java/elderseam/core/Recovery.java
@@ -17,7 +17,7 @@
  * answer, was built and measured, and cost 0.03 of a day on which destinations failed half of their calls.
  */
 final class Recovery {
-    /** Ready no later than this after recovery began, whatever is still to be told or fed. */
+    /** Ready no later than this after recovery began, whatever is still to be told. */
     static final long LATEST_NS = 1_000 * Clock.MS;
     private static final long PORTION_NS = 15 * Clock.MS;      // what a portion should take
     private static final int LEAST = 8, FIRST = 32, MOST = 256;
@@ -72,7 +72,7 @@
 
     /** Whether the process may call itself ready; {@code owed}: answers that are yet to be told. */
     boolean ready(long now, int owed) {
-        return stage() == Stage.DONE && owed == 0 || now - start >= LATEST_NS;
+        return stage() != Stage.ENDS && owed == 0 || now - start >= LATEST_NS;
     }
 
     /** When it is ready at the latest. */
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -26,7 +26,7 @@
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
     private Runnable watch = () -> { };
-    private boolean turning, postponed;
+    private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
     private int out;
 
@@ -95,9 +95,10 @@
         if (recovery.ready(clock.now(), untold.getAsInt())) {
             readyOnce(told, ready);
         }
+        recovering = recovery.stage() != Recovery.Stage.DONE || !told[0];
         if (recovery.stage() != Recovery.Stage.DONE) {
             loop.afterReading(again);
-        } else if (!told[0]) {   // answers are under way
+        } else if (recovering) {   // answers are under way
             loop.at(clock.now() + LOOK_NS, again);
         }
     }
@@ -160,19 +161,35 @@
         return out;
     }
 
+    /**
+     * A turn for each answer; while much is taken back, one for all that is read in a pass, since each turn looks at every
+     * stream that waits. (At all times it was measured, and cost 0.006 of G on a day of bad clients and spoilt answers.)
+     */
+    private void answered() {
+        if (recovering) {
+            turnSoon();
+        } else {
+            turn();
+        }
+    }
+
+    private void turnSoon() {
+        if (!postponed) {
+            postponed = true;
+            loop.at(clock.now(), () -> {
+                postponed = false;
+                turn();
+            });
+        }
+    }
+
     /** What the module decides now is carried out; after a pause only once all that had arrived is read. */
     private void turn() {
         if (turning) {
             return;
         }
         if (loop.late()) {
-            if (!postponed) {
-                postponed = true;
-                loop.at(clock.now(), () -> {
-                    postponed = false;
-                    turn();
-                });
-            }
+            turnSoon();
             return;
         }
         turning = true;
@@ -275,7 +292,7 @@
             } else if (end.status() == UpstreamRequest.Status.OVER) {
                 end(stream, Answer.OVER);
             }
-            turn();
+            answered();
         }
 
         /** The delivery of one that is out again, or has its end, does not count a second time. */
@@ -287,7 +304,7 @@
                 facade.delivered(clock.now(), stream.id());
                 end(stream, end.status() == UpstreamRequest.Status.OVER ? Answer.OVER : Answer.DELIVERED);
             }
-            turn();
+            answered();
         }
     }
 
--- a/src/test/java/elderseam/core/RecoveryTest.java
+++ b/src/test/java/elderseam/core/RecoveryTest.java
@@ -105,6 +105,7 @@
         recovery.next();
         assertFalse(recovery.ready(NOW, 1));
         assertTrue(recovery.ready(NOW, 0));
+        assertTrue(new Recovery(List.of(stream("b", 2, NOW + S, false, 0)), CLASSES, 4, NOW).ready(NOW, 0), "nothing is due now");
         assertFalse(new Recovery(List.of(), CLASSES, 4, NOW).ready(recovery.latest() - 1, 1));
         assertTrue(recovery.ready(recovery.latest(), 1));
     }
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -25,7 +25,7 @@
     Path folder;
 
     private final Clock clock = new Clock();
-    private final List<Runnable> timers = new ArrayList<>();
+    private final List<Runnable> timers = new ArrayList<>(), soon = new ArrayList<>();
     private final List<Consumer<End>> out = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private final List<String> ended = new ArrayList<>();
@@ -40,7 +40,7 @@
         relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, new Loop() {
             @Override
             public void at(long time, Runnable task) {
-                timers.add(task);
+                (time <= clock.now() ? soon : timers).add(task);
             }
 
             @Override
@@ -56,7 +56,10 @@
         relay.front((byte) 0, (m, answer) -> ended.add(m.id() + " " + answer.kind()), new Upstream() {
             @Override
             public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
-                out.add(attempt::ended);
+                out.add(end -> {
+                    attempt.ended(end);
+                    settle();
+                });
                 attempts.add(attempt);
                 return () -> attempt.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
             }
@@ -68,6 +71,13 @@
         relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
     }
 
+    /** What is to be done at once is done. */
+    private void settle() {
+        List<Runnable> due = List.copyOf(soon);
+        soon.clear();
+        due.forEach(Runnable::run);
+    }
+
     private Answer take(String id) {
         long by = clock.now() + 9_000 * Clock.MS;
         return relay.take(new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, true, "", new byte[0]));
@@ -141,6 +151,7 @@
         take("a");
         out.get(0).accept(End.unanswered(Progress.NOT_CONNECTED, Status.BROKEN));   // to be tried again
         attempts.get(0).answeredLate(new End(Progress.ANSWERED, Status.FULL, 3_000 * Clock.MS, 0, 0));
+        settle();
         take("b");
         assertEquals(1, out.size(), "the destination told a wait");
         attempts.get(0).answeredLate(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
@@ -156,9 +167,19 @@
         assertNull(take("a"));
         assertEquals(List.of(), out);
         late = false;
-        List<Runnable> due = List.copyOf(timers);
-        timers.clear();
-        due.forEach(Runnable::run);
+        settle();
         assertEquals(1, out.size());
     }
+
+    /** While much is taken back, answers that are read in one pass are decided on together. */
+    @Test
+    void answersOfOnePassShareATurnDuringRecovery() {
+        relay.recover(() -> 1, () -> { });   // a notice is untold: recovery goes on
+        for (int i = 0; i < 6; i++) {
+            take("m" + i);
+        }
+        soon.clear();
+        attempts.forEach(a -> a.ended(new End(Progress.ANSWERED, Status.NO_SLOT, 0, 0, 0)));
+        assertEquals(1, soon.size());
+    }
 }
