One settings file, a command line, and the decisions of a gossip with their trial

Need: what the gossip among dispatchers rests on. Settings were a properties file that took any key; the command line knew no help.

The two lines of the deploy file go past both libraries (LeanTest), and a file of comments loads neither. Not yet: sockets, keys, the tie to the module, liars, the model checker; serve loads none of it.

--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -42,12 +42,12 @@
     private final long born;
 
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
-    static void serve(Map<String, String> variables, Path eventsFile) throws IOException {
+    static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         Clock clock = new Clock();
         long born = clock.now();
         lean();
+        EventConfig events = OperatorFile.events(settingsFile);
         Config config = Config.read(variables);
-        EventConfig events = EventConfig.read(eventsFile);
         Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
         Io io = new Io(clock);
         io.run(() -> {
@@ -116,7 +116,8 @@
         relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(),
                 config.settings().names("services").get(0), () -> {
             front.ready();
-            System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms");
+            System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for "
+                    + io.longestAway() / Clock.MS + " ms at most");
         }));
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         Reload.onHangUp(variables, fresh -> io.run(() -> reload(fresh)));
--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -1,37 +1,34 @@
 package elderseam;
 
-import elderseam.platform.Config;
-import elderseam.sim.Host;
-import elderseam.sim.WireException;
+import elderseam.settings.SettingsFault;
 import java.io.IOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 
 /** Entry point: {@code serve} is one dispatcher, {@code simhost} the same decisions on the simulator's wire. */
 public final class Main {
     private Main() {}
 
+    /** The two lines of the deploy file go straight to their work: the command line's library would cost them a start. */
     public static void main(String[] args) throws Exception {
-        String mode = args.length == 0 ? "" : args[0];
-        if (mode.equals("serve") && args.length <= 2) {
-            Daemon.serve(System.getenv(), Path.of(args.length > 1 ? args[1] : "deploy/events.properties"));
-        } else if (mode.equals("simhost") && args.length == 1) {
-            simulate();
-        } else if (mode.equals("authority") && args.length == 3) {
-            System.err.println("directory at " + Rehearsals.authority(Config.address(args[1]), Integer.parseInt(args[2])));
-        } else if (mode.equals("train") && args.length == 1) {
-            Training.run();
+        if (args.length == 1 && args[0].equals("simhost")) {
+            Rehearsals.simulate();
+        } else if (args.length >= 1 && args.length <= 2 && args[0].equals("serve") && (args.length == 1 || !args[1].startsWith("-"))) {
+            serve(Path.of(args.length > 1 ? args[1] : OperatorFile.DEFAULT));
         } else {
-            System.err.println("usage: java -jar elderseam.jar serve [EVENTS-FILE] | simhost"
-                    + " | authority ADDRESS CHALLENGE-PORT | train");
-            System.exit(2);
+            System.exit(elderseam.cli.Commands.run(args, Main::serve, Rehearsals::simulate, Rehearsals::authority, Training::run));
         }
     }
 
-    private static void simulate() throws IOException {
+    /** A fault of settings or configuration is told in plain words, a line each, and ends the start with 1. */
+    static void serve(Path settings) throws IOException {
         try {
-            new Host(System.in, System.out).run();
-        } catch (WireException e) {
-            System.err.println(e.getMessage());
+            Daemon.serve(System.getenv(), settings);
+        } catch (SettingsFault e) {
+            e.faults().forEach(System.err::println);
+            System.exit(1);
+        } catch (IOException | IllegalArgumentException e) {   // of the RELAY variables, or what they name
+            System.err.println("elderseam: " + (e instanceof NoSuchFileException ? "no file " : "") + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/elderseam/Rehearsals.java
+++ b/src/main/java/elderseam/Rehearsals.java
@@ -3,6 +3,8 @@
 import elderseam.acme.Authority;
 import elderseam.core.Clock;
 import elderseam.http.Io;
+import elderseam.sim.Host;
+import elderseam.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 
@@ -10,8 +12,19 @@
 final class Rehearsals {
     private Rehearsals() {}
 
-    /** Starts the stand-in authority; where its directory is. */
-    static String authority(InetSocketAddress address, int challengePort) throws IOException {
-        return new Authority(new Io(new Clock()), address, challengePort).directory();
+    /** The same decisions on the simulator's wire. */
+    static void simulate() throws IOException {
+        try {
+            new Host(System.in, System.out).run();
+        } catch (WireException e) {
+            System.err.println(e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    /** Starts the stand-in authority and tells where its directory is. */
+    static void authority(InetSocketAddress address, int challengePort) throws IOException {
+        String directory = new Authority(new Io(new Clock()), address, challengePort).directory();
+        System.err.println("directory at " + directory);
     }
 }
--- a/src/main/java/elderseam/Training.java
+++ b/src/main/java/elderseam/Training.java
@@ -59,7 +59,7 @@
         Map<String, String> variables = Map.of("RELAY_LISTEN", listen, "RELAY_DISCOVERY", address, "RELAY_STATE",
                 state.toString(), "RELAY_CONFIG", config.toString());
         Runtime.getRuntime().addShutdownHook(new Thread(this::clean, "clean"));
-        Daemon.serve(variables, folder.resolve("none"));
+        Daemon.serve(variables, Files.writeString(folder.resolve("elderseam.ini"), "# nothing is told\n"));
         Connections client = new Connections(io, PATIENCE_NS, 8, 1 << 10);
         io.at(io.clock.now() + 300 * Clock.MS, () -> send(client, new UpstreamHost("self", listen), 0));
     }
--- /dev/null
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -0,0 +1,269 @@
+package elderseam.cli;
+
+import elderseam.gossip.trial.Trial;
+import elderseam.settings.Key;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import elderseam.settings.SettingsFault;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Every command. Exit codes: 0, 1 for what failed or is faulty, 2 for a usage fault. */
+@Command(name = "elderseam", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "A dispatcher that delivers messages to partners, and its test and rehearsal kit.",
+        subcommands = {Commands.Serve.class, Commands.SimHost.class, Commands.AuthorityCommand.class, Commands.Train.class,
+            Commands.ConfigCommand.class, Commands.Gossip.class})
+public final class Commands implements Callable<Integer> {
+    /** Something that the wiring starts. */
+    public interface Start {
+        void run() throws Exception;
+    }
+
+    /** The same, with a file. */
+    public interface StartWith {
+        void run(Path file) throws Exception;
+    }
+
+    /** The same, with an address and a port. */
+    public interface StartAt {
+        void run(InetSocketAddress address, int port) throws Exception;
+    }
+
+    /** A command that starts something stays: its threads hold the process, and its exit code is theirs. */
+    private static final int STAYS = -1;
+
+    @Spec
+    private CommandSpec spec;
+    private final StartWith serve;
+    private final Start simulate, train;
+    private final StartAt authority;
+
+    private Commands(StartWith serve, Start simulate, StartAt authority, Start train) {
+        this.serve = serve;
+        this.simulate = simulate;
+        this.authority = authority;
+        this.train = train;
+    }
+
+    /** Runs a command; the exit code, or never where the command goes on. */
+    public static int run(String[] args, StartWith serve, Start simulate, StartAt authority, Start train) throws InterruptedException {
+        int code = new CommandLine(new Commands(serve, simulate, authority, train)).setParameterExceptionHandler((e, words) -> {
+            CommandLine line = e.getCommandLine();
+            line.getErr().println(line.getCommandName() + ": " + e.getMessage());
+            line.usage(line.getErr());
+            return 2;
+        }).setExecutionExceptionHandler((e, line, parsed) -> {
+            if (e instanceof SettingsFault fault) {
+                fault.faults().forEach(line.getErr()::println);
+            } else {
+                line.getErr().println(line.getCommandName() + ": " + (e.getMessage() == null ? e : e.getMessage()));
+            }
+            return 1;
+        }).execute(args);
+        if (code == STAYS) {
+            Thread.currentThread().join();
+        }
+        return code;
+    }
+
+    @Override
+    public Integer call() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** The version that the build wrote into the jar. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Commands.class.getPackage().getImplementationVersion();
+            return new String[] {"elderseam " + (version == null ? "(not from a jar)" : version) + ", Java " + Runtime.version()};
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "One dispatcher; reads the RELAY variables.")
+    static final class Serve implements Callable<Integer> {
+        @CommandLine.ParentCommand
+        private Commands parent;
+        @Parameters(index = "0", arity = "0..1", paramLabel = "SETTINGS", defaultValue = "deploy/elderseam.ini",
+                description = "the operator's settings (${DEFAULT-VALUE})")
+        private Path settings;
+
+        @Override
+        public Integer call() throws Exception {
+            parent.serve.run(settings);
+            return STAYS;
+        }
+    }
+
+    @Command(name = "simhost", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "The same decisions on the simulator's wire, standard input and output.")
+    static final class SimHost implements Callable<Integer> {
+        @CommandLine.ParentCommand
+        private Commands parent;
+
+        @Override
+        public Integer call() throws Exception {
+            parent.simulate.run();
+            return 0;
+        }
+    }
+
+    @Command(name = "authority", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "A stand-in ACME authority for rehearsals.")
+    static final class AuthorityCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @CommandLine.ParentCommand
+        private Commands parent;
+        @Parameters(index = "0", paramLabel = "ADDRESS:PORT", description = "where it listens")
+        private String address;
+        @Parameters(index = "1", paramLabel = "CHALLENGE-PORT", description = "the port at which names are looked up")
+        private int port;
+
+        @Override
+        public Integer call() throws Exception {
+            int colon = address.lastIndexOf(':');
+            if (colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}") || port < 0 || port > 65_535) {
+                throw new ParameterException(spec.commandLine(), "'" + address + " " + port + "' is no ADDRESS:PORT and PORT");
+            }
+            parent.authority.run(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))), port);
+            return STAYS;
+        }
+    }
+
+    @Command(name = "train", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "A short life on the loopback, by which the build makes the class-data archive.")
+    static final class Train implements Callable<Integer> {
+        @CommandLine.ParentCommand
+        private Commands parent;
+
+        @Override
+        public Integer call() throws Exception {
+            parent.train.run();
+            return STAYS;
+        }
+    }
+
+    @Command(name = "config", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "What the operator's settings say.", subcommands = {Check.class, Show.class})
+    static final class ConfigCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            throw new ParameterException(spec.commandLine(), "a command is missing: check or show");
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Tells every fault of a settings file, a line each; exits with 1 where there is one.")
+    static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "FILE")
+        private Path file;
+
+        @Override
+        public Integer call() throws IOException {
+            Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
+            spec.commandLine().getOut().println(file + ": no fault");
+            return 0;
+        }
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "The values that count, where each comes from, and whether SIGHUP changes it.")
+    static final class Show implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(index = "0", arity = "0..1", paramLabel = "FILE", defaultValue = "deploy/elderseam.ini",
+                description = "the operator's settings (${DEFAULT-VALUE})")
+        private Path file;
+        @Option(names = "--json", description = "one JSON object for each key")
+        private boolean json;
+
+        @Override
+        public Integer call() throws IOException {
+            boolean given = spec.commandLine().getParseResult().hasMatchedPositional(0);
+            Settings s = !given && !Files.exists(file) ? Settings.none() : Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
+            PrintWriter out = spec.commandLine().getOut();
+            for (Key<?> k : Keys.ALL) {
+                if (json) {
+                    out.printf("{\"key\":%s,\"value\":%s,\"from\":%s,\"live\":%s}%n", quoted(k.path()), quoted(s.text(k)),
+                            quoted(s.origin(k)), k.live());
+                } else {
+                    out.printf("%-34s %-24s %-30s %s%n", k.path(), s.text(k).isEmpty() ? "(empty)" : s.text(k), s.origin(k),
+                            k.live() ? "live" : "from the next start");
+                }
+            }
+            return 0;
+        }
+
+        private static String quoted(String text) {
+            return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+        }
+    }
+
+    @Command(name = "gossip", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "The fleet's membership, as far as it is built: a trial in virtual time.", subcommands = TrialCommand.class)
+    static final class Gossip implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            throw new ParameterException(spec.commandLine(), "a command is missing: trial");
+        }
+    }
+
+    @Command(name = "trial", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "A fleet joins, runs undisturbed, loses one member and finds out. One seed gives the same bytes each time.")
+    static final class TrialCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--instances", defaultValue = "5", description = "3 to 1000 (${DEFAULT-VALUE})")
+        private int instances;
+        @Option(names = "--loss", defaultValue = "0", description = "share of datagrams lost, 0 to 0.9 (${DEFAULT-VALUE})")
+        private double loss;
+        @Option(names = "--no-local-health", description = "without Lifeguard's parts")
+        private boolean plain;
+        @Option(names = "--undisturbed", defaultValue = "60", paramLabel = "SECONDS", description = "of virtual time (${DEFAULT-VALUE})")
+        private int seconds;
+        @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--json", paramLabel = "FILE", description = "writes one JSON object there; - for standard output, alone")
+        private Path json;
+
+        @Override
+        public Integer call() throws IOException {
+            Trial trial;
+            try {
+                trial = Trial.run(instances, loss, !plain, seconds, seed);
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(spec.commandLine(), e.getMessage());
+            }
+            if (json != null && json.toString().equals("-")) {
+                spec.commandLine().getOut().println(trial.json());
+                return 0;
+            }
+            if (json != null) {
+                Files.writeString(json, trial.json() + "\n");
+            }
+            spec.commandLine().getOut().print(trial.words());
+            return 0;
+        }
+    }
+}
--- a/src/main/java/elderseam/cloudevents/EventConfig.java
+++ b/src/main/java/elderseam/cloudevents/EventConfig.java
@@ -1,6 +1,8 @@
 package elderseam.cloudevents;
 
 import elderseam.core.Clock;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
 import java.io.IOException;
 import java.io.Reader;
 import java.nio.file.Files;
@@ -16,7 +18,17 @@
  */
 public record EventConfig(String listen, long rememberNs, String directory, List<String> names, Path folder,
                           String challenges, List<String> origins, int rate) {
-    public static EventConfig read(Path file) throws IOException {
+    public static EventConfig of(Settings s) {
+        String listen = s.get(Keys.EVENTS_LISTEN), challenges = s.get(Keys.ACME_CHALLENGES);
+        return new EventConfig(listen.equals("off") ? "" : listen, s.get(Keys.EVENTS_REMEMBER_S) * 1_000 * Clock.MS,
+                s.get(Keys.ACME_DIRECTORY), s.get(Keys.ACME_NAMES), Path.of(s.get(Keys.ACME_FOLDER)),
+                challenges.equals("off") ? "" : challenges,
+                s.get(Keys.EVENTS_WEBHOOK_ORIGINS).stream().map(o -> o.toLowerCase(Locale.ROOT)).toList(),
+                s.get(Keys.EVENTS_WEBHOOK_RATE).intValue());
+    }
+
+    /** An events' file as it was before {@code deploy/elderseam.ini}; a file that is not there is off. */
+    public static EventConfig old(Path file) throws IOException {
         Properties p = new Properties();
         if (Files.exists(file)) {
             try (Reader in = Files.newBufferedReader(file)) {
@@ -28,18 +40,6 @@
         return new EventConfig(listen.equals("off") ? "" : listen, seconds * 1_000 * Clock.MS,
                 p.getProperty("acme.directory", "").strip(), List.of(p.getProperty("acme.names", "").strip().split(" +")),
                 Path.of(p.getProperty("acme.folder", "certificates").strip()),
-                p.getProperty("acme.challenges", "").strip(), origins(p.getProperty("webhook.origins", "off").strip()),
-                rate(p.getProperty("webhook.rate_per_minute", "any").strip()));
-    }
-
-    private static List<String> origins(String told) {
-        return told.equals("off") || told.isEmpty() ? List.of() : List.of(told.toLowerCase(Locale.ROOT).split("[ ,]+"));
-    }
-
-    private static int rate(String told) {
-        if (!told.matches("any|[1-9]\\d{0,8}")) {
-            throw new IllegalArgumentException("webhook.rate_per_minute is '" + told + "', not any or a number above 0");
-        }
-        return told.equals("any") ? 0 : Integer.parseInt(told);
+                p.getProperty("acme.challenges", "").strip(), List.of(), 0);
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/gossip/Claims.java
@@ -0,0 +1,93 @@
+package elderseam.gossip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The claims that are held: of each reporter and destination the newest. As a state it is a join semilattice, the product of
+ * one maximum for each reporter and destination, so that merging is commutative, associative and idempotent. What expires does
+ * so by the holder's own clock, counted from when the claim was first heard here; a claim that was held, and a newer number
+ * seen, does not come back while {@link #KEEP_NS} last. Bounded by {@code mostOfOne} destinations for each reporter.
+ */
+public final class Claims {
+    /** A claim counts for so long at most, whatever it says. */
+    public static final long TTL_NS = 10_000_000_000L;
+    /** Its number is remembered for so long, against those that come late. */
+    public static final long KEEP_NS = 120_000_000_000L;
+
+    private record Held(Claim claim, long heardAt) {}
+
+    private final int mostOfOne;
+    private final Map<String, Map<Long, Held>> byReporter = new HashMap<>();
+
+    public Claims(int mostOfOne) {
+        this.mostOfOne = mostOfOne;
+    }
+
+    /** Whether it is news. */
+    public boolean hear(Claim c, long now) {
+        Map<Long, Held> of = byReporter.computeIfAbsent(c.reporter(), r -> new HashMap<>());
+        Held h = of.get(c.destination());
+        if (h != null && Claim.AGE.compare(c, h.claim) <= 0) {
+            return false;
+        }
+        if (h == null && of.size() >= mostOfOne) {
+            Long oldest = null;
+            for (Map.Entry<Long, Held> e : of.entrySet()) {
+                if (oldest == null || Claim.AGE.compare(e.getValue().claim, of.get(oldest).claim) < 0) {
+                    oldest = e.getKey();
+                }
+            }
+            if (Claim.AGE.compare(c, of.get(oldest).claim) <= 0) {
+                return false;
+            }
+            of.remove(oldest);
+        }
+        of.put(c.destination(), new Held(c, now));
+        return true;
+    }
+
+    /** The claims that count now, of one destination. */
+    public List<Claim> of(long destination, long now) {
+        List<Claim> found = new ArrayList<>();
+        byReporter.values().forEach(of -> {
+            Held h = of.get(destination);
+            if (h != null && now - h.heardAt < TTL_NS) {
+                found.add(h.claim);
+            }
+        });
+        return found;
+    }
+
+    /** What is left of a told wait, as its claim said and by this clock; 0 where it is over. */
+    public long waitNs(Claim c, long now) {
+        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        return h == null ? 0 : Math.max(0, Math.min(TTL_NS, c.waitMs() * 1_000_000L) - (now - h.heardAt));
+    }
+
+    /** Every claim that is held, newest of each. */
+    public List<Claim> all() {
+        List<Claim> all = new ArrayList<>();
+        byReporter.values().forEach(of -> of.values().forEach(h -> all.add(h.claim)));
+        return all;
+    }
+
+    /** Forgets what is older than its number need be remembered. */
+    public void sweep(long now) {
+        for (Iterator<Map<Long, Held>> i = byReporter.values().iterator(); i.hasNext(); ) {
+            Map<Long, Held> of = i.next();
+            of.values().removeIf(h -> now - h.heardAt >= KEEP_NS);
+            if (of.isEmpty()) {
+                i.remove();
+            }
+        }
+    }
+
+    /** One that is not on the roster any more. */
+    public void remove(String reporter) {
+        byReporter.remove(reporter);
+    }
+}
--- a/src/main/java/elderseam/http/Io.java
+++ b/src/main/java/elderseam/http/Io.java
@@ -27,7 +27,7 @@
  */
 public final class Io implements Loop {
     private static final int BUFFER = 16 << 10, BUFFERS = 256, CACHED = 16;
-    private static final long NOTEWORTHY_NS = 250 * Clock.MS;
+    private static final long NOTEWORTHY_NS = 100 * Clock.MS;
 
     final XnioWorker worker;
     final XnioIoThread thread;
--- /dev/null
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -0,0 +1,81 @@
+package elderseam.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The command line as a user meets it. */
+class CommandsTest {
+    private record Ended(int code, String out, String err) {}
+
+    @TempDir
+    Path folder;
+
+    private static Ended run(String... args) throws Exception {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "elderseam.Main"));
+        command.addAll(List.of(args));
+        Path err = Files.createTempFile("err", "");
+        Process p = new ProcessBuilder(command).redirectError(err.toFile()).start();
+        p.getOutputStream().close();
+        String out = new String(p.getInputStream().readAllBytes());
+        Ended ended = new Ended(p.waitFor(), out, Files.readString(err));
+        Files.delete(err);
+        return ended;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "nonsense", "serve --nonsense", "serve a b", "config", "config check", "config check a b",
+        "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more"})
+    void aUsageFaultExitsWith2(String words) throws Exception {
+        Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
+        assertEquals(2, e.code, e.err);
+        assertEquals("", e.out);
+        assertTrue(e.err.contains("Usage: elderseam"), e.err);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"--help", "serve --help", "simhost --help", "authority --help", "train --help", "config --help",
+        "config check --help", "config show --help"})
+    void helpIsEverywhere(String words) throws Exception {
+        Ended e = run(words.split(" "));
+        assertEquals(0, e.code, e.err);
+        assertTrue(e.out.startsWith("Usage: elderseam"), e.out);
+        Ended version = run(words.replace("--help", "--version").split(" "));
+        assertTrue(version.code == 0 && version.out.startsWith("elderseam "), version.toString());
+    }
+
+    @Test
+    void configCheckAndShow() throws Exception {
+        Path good = Files.writeString(folder.resolve("good.ini"), "[events]\nremember_s = 60\n");
+        Path bad = Files.writeString(folder.resolve("bad.ini"), "[events]\nremember_s = never\nlisten = nowhere\n");
+        assertEquals(new Ended(0, good + ": no fault\n", ""), run("config", "check", good.toString()));
+        Ended faulty = run("config", "check", bad.toString());
+        assertEquals(1, faulty.code);
+        assertEquals(bad + ":2: events.remember_s: 'never' can't be used, allowed: 1 to 2592000 seconds\n"
+                + bad + ":3: events.listen: 'nowhere' can't be used, allowed: off, or ADDRESS:PORT\n", faulty.err);
+        Ended shown = run("config", "show", good.toString());
+        assertTrue(shown.out.lines().anyMatch(l -> l.matches("events\\.remember_s +60 +\\Q" + good + "\\E:2 +from the next start")), shown.out);
+        assertTrue(shown.out.lines().anyMatch(l -> l.matches("events\\.listen +off +default +from the next start")), shown.out);
+        Ended json = run("config", "show", "--json", good.toString());
+        assertTrue(json.out.contains("{\"key\":\"events.remember_s\",\"value\":\"60\",\"from\":\"" + good + ":2\",\"live\":false}"), json.out);
+        assertEquals(1, run("config", "show", folder.resolve("none").toString()).code);
+    }
+
+    /** A dispatcher with a faulty file does not start, and says all that is wrong. */
+    @Test
+    void serveRefusesAFaultyFile() throws Exception {
+        Path bad = Files.writeString(folder.resolve("bad.ini"), "[events]\nlisten = 1\nremember_s = 0\n");
+        Ended e = run("serve", bad.toString());
+        assertEquals(1, e.code);
+        assertEquals(2, e.err.lines().count(), e.err);
+    }
+}
--- a/src/test/java/elderseam/deploy/ServeScriptTest.java
+++ b/src/test/java/elderseam/deploy/ServeScriptTest.java
@@ -1,9 +1,11 @@
 package elderseam.deploy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -35,4 +37,22 @@
         tells("{\"limits\":{\"memory_mb\":40}}", "24m", "6m");
         tells("{}", "64m", "12m");
     }
+
+    /** An archive that is not there, or is none, must cost no start and no line where the program's are expected. */
+    @Test
+    void withoutAnArchiveItStartsAllTheSame() throws Exception {
+        String told = arguments("{}");
+        assertTrue(told.contains("-Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa"), told);
+        Path junk = Files.writeString(folder.resolve("junk.jsa"), "no archive".repeat(1_000));
+        for (String file : List.of(junk.toString(), folder.resolve("none.jsa").toString())) {
+            Process java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
+                    "-XX:SharedArchiveFile=" + file, "-Xlog:cds=off", "-Xlog:cds+dynamic=off", "-XX:+UseSerialGC", "-cp",
+                    System.getProperty("java.class.path"), "elderseam.Main").start();
+            String out = new String(java.getInputStream().readAllBytes());
+            String err = new String(java.getErrorStream().readAllBytes());
+            assertEquals(2, java.waitFor(), "its own usage fault: it has started; " + err);
+            assertEquals("", out);
+            assertTrue(err.contains("Usage: elderseam"), err);
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/elderseam/scenario/LeanTest.java
@@ -0,0 +1,49 @@
+package elderseam.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a start loads: nothing that the platform does not use. */
+class LeanTest {
+    private static final List<String> UNUSED = List.of("io.cloudevents.", "com.fasterxml.jackson.databind.", "org.bouncycastle.",
+            "org.shredzone.", "org.jose4j.", "elderseam.acme.", "elderseam.cloudevents.EventFront", "elderseam.cloudevents.EventCodec",
+            "elderseam.EventsWiring", "elderseam.cli.", "picocli.", "elderseam.Training", "elderseam.Rehearsals", "elderseam.sim.",
+            "com.sun.jmx.mbeanserver.JmxMBeanServer");
+
+    @TempDir
+    Path folder;
+
+    private List<String> loaded(boolean events) throws Exception {
+        Path classes = folder.resolve("classes.log");
+        try (Scenario s = new Scenario(folder)) {
+            s.flags("-Xlog:class+load:file=" + classes + ":none");
+            if (!events) {
+                s.withoutEvents();
+            }
+            s.start();
+            s.run("""
+                    c send POST /status-update; X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m; X-Txn: {id}
+                    c expect 202
+                    h1 expect X-Txn: {id}
+                    h1 send 200
+                    h1 wait quiet 100
+                    """.replace("{id}", "events" + events));
+        }
+        try (Stream<String> lines = Files.lines(classes)) {
+            return lines.map(l -> l.split(" ")[0]).filter(c -> UNUSED.stream().anyMatch(c::startsWith)).toList();
+        }
+    }
+
+    @Test
+    void theSecondFrontAndItsLibrariesAreNotLoadedWhileItIsOff() throws Exception {
+        assertEquals(List.of(), loaded(false));
+        assertTrue(loaded(true).contains("elderseam.EventsWiring"), "the log shows what is on");
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/settings/SettingsTest.java
@@ -0,0 +1,94 @@
+package elderseam.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A settings file is taken whole, or each of its faults is told with its place. */
+class SettingsTest {
+    @TempDir
+    Path folder;
+
+    private Settings read(String text) throws Exception {
+        return Settings.read(Files.writeString(folder.resolve("s.ini"), text), Keys.ALL, Keys.CONTRADICTIONS);
+    }
+
+    private List<String> faults(String text) {
+        return assertThrows(SettingsFault.class, () -> read(text)).faults().stream()
+                .map(f -> f.substring(folder.toString().length() + 1)).toList();
+    }
+
+    @Test
+    void valuesAndWhereTheyComeFrom() throws Exception {
+        Settings s = read("# a comment\n[events]\nlisten = 127.0.0.1:8080\n\n  webhook_origins = a.example, b.example\n[acme]\n");
+        assertEquals("127.0.0.1:8080", s.get(Keys.EVENTS_LISTEN));
+        assertEquals(List.of("a.example", "b.example"), s.get(Keys.EVENTS_WEBHOOK_ORIGINS));
+        assertEquals(3_600L, s.get(Keys.EVENTS_REMEMBER_S));
+        assertEquals(folder.resolve("s.ini") + ":3", s.origin(Keys.EVENTS_LISTEN));
+        assertEquals("default", s.origin(Keys.EVENTS_REMEMBER_S));
+        assertEquals(List.of("events.listen", "events.webhook_origins"), Settings.none().changed(s, Keys.ALL, false));
+    }
+
+    /** All at once, in the order of the file. */
+    @Test
+    void everyFaultIsTold() {
+        assertEquals(List.of("s.ini:1: stray: before any section, allowed: below a [section]",
+                "s.ini:5: 'no setting at all' is no setting, allowed: [section], key = value, # comment",
+                "s.ini:6: events.listen: told at line 3 already, allowed: once",
+                "s.ini:3: events.listen: '127.0.0.1' can't be used, allowed: off, or ADDRESS:PORT",
+                "s.ini:4: events.remember_s: '0' can't be used, allowed: 1 to 2592000 seconds",
+                "s.ini:7: events.colour: unknown key, allowed: listen, remember_s, webhook_origins, webhook_rate_per_minute",
+                "s.ini:9: gossipp.listen: unknown section, allowed: events, acme"),
+                faults("stray = 1\n[events]\nlisten = 127.0.0.1\nremember_s = 0\nno setting at all\nlisten = off\ncolour = red\n"
+                        + "[gossipp]\nlisten = off\n"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "[acme];directory = http://a/|s.ini:2: acme.directory: is set while events.listen is off",
+        "[events];listen = 127.0.0.1:1;[acme];directory = http://a/;challenges = 127.0.0.1:2|s.ini: acme.names: is empty",
+        "[events];listen = 127.0.0.1:1;[acme];directory = http://a/;names = a|s.ini: acme.challenges: is off",
+        "[events];webhook_rate_per_minute = 5|s.ini:2: events.webhook_rate_per_minute: is set without",
+        "[acme];directory = ftp://a/|s.ini:2: acme.directory: 'ftp://a/' can't be used",
+        "[events];listen = 127.0.0.1:99999|s.ini:2: events.listen: '127.0.0.1:99999' can't be used",
+        "[events];remember_s = 1e3|s.ini:2: events.remember_s: '1e3' can't be used",
+        "[events];remember_s = 99999999999999999999|s.ini:2: events.remember_s",
+        "[events];[events]|s.ini:2: section events stands at line 1 already",
+        "[ev ents]|s.ini:1: '[ev ents]' is no setting"})
+    void whatCanNotStand(String lines, String fault) {
+        List<String> told = faults(lines.replace(';', '\n') + "\n");
+        assertTrue(told.get(0).startsWith(fault), told::toString);
+    }
+
+    @Test
+    void whatIsNoTextFile() throws Exception {
+        Files.write(folder.resolve("s.ini"), new byte[] {'[', (byte) 0xff, ']'});
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), Keys.ALL, List.of())).getMessage()
+                .endsWith("not UTF-8 text"));
+        Files.write(folder.resolve("s.ini"), "#".repeat(2 << 20).getBytes(StandardCharsets.UTF_8));
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), Keys.ALL, List.of())).getMessage()
+                .contains("a settings file is smaller"));
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("none"), Keys.ALL, List.of())).getMessage()
+                .endsWith("there is no such file"));
+    }
+
+    /** The file that ships shows the defaults in its comments, all of them and as they are. */
+    @Test
+    void theShippedFileShowsTheDefaults() throws Exception {
+        List<String> lines = Files.readAllLines(Path.of("deploy/elderseam.ini"));
+        Settings shipped = Settings.read(Path.of("deploy/elderseam.ini"), Keys.ALL, Keys.CONTRADICTIONS);
+        for (Key<?> k : Keys.ALL) {
+            assertEquals("default", shipped.origin(k));
+            assertTrue(lines.contains(("# " + k.name() + " = " + k.absent()).stripTrailing()), k.path());
+        }
+    }
+}
