gossip trial prints its words

Seen on a fresh clone: the command printed nothing, since print alone does not flush and the process exits at once. CommandsTest runs the trial now and fails without the change. The code that serve loads is as it was.

--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -262,7 +262,7 @@
             if (json != null) {
                 Files.writeString(json, trial.json() + "\n");
             }
-            spec.commandLine().getOut().print(trial.words());
+            spec.commandLine().getOut().println(trial.words().stripTrailing());   // print alone would not flush
             return 0;
         }
     }
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -78,4 +78,14 @@
         assertEquals(1, e.code);
         assertEquals(2, e.err.lines().count(), e.err);
     }
+
+    /** Words for people, one JSON object for programs, a usage fault for a fleet that can't be. */
+    @Test
+    void aTrialTellsWhatItSaw() throws Exception {
+        Ended words = run("gossip", "trial", "--instances", "3", "--undisturbed", "5");
+        assertTrue(words.code == 0 && words.out.startsWith("3 instances") && words.out.contains("one killed"), words.toString());
+        Ended json = run("gossip", "trial", "--instances", "3", "--undisturbed", "5", "--json", "-");
+        assertTrue(json.code == 0 && json.out.startsWith("{\"instances\":3,") && json.out.lines().count() == 1, json.toString());
+        assertEquals(2, run("gossip", "trial", "--instances", "2").code);
+    }
 }
