Membership split into the roll of members and the probes; twins made one

Those present are counted as they change, where each look counted them anew. Picking some at random stood there three times, a rumour's size in the trial again, the settings file's name three times, the commands that only hold others twice, reading a head in ProgressTest twice: one each now. Accessors that nobody called are gone.

--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -1,5 +1,6 @@
 package elderseam;
 
+import elderseam.settings.Keys;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
@@ -14,7 +15,7 @@
         if (args.length == 1 && args[0].equals("simhost")) {
             Rehearsals.simulate();
         } else if (args.length >= 1 && args.length <= 2 && args[0].equals("serve") && (args.length == 1 || !args[1].startsWith("-"))) {
-            serve(Path.of(args.length > 1 ? args[1] : OperatorFile.DEFAULT));
+            serve(Path.of(args.length > 1 ? args[1] : Keys.FILE));
         } else {
             System.exit(elderseam.cli.Commands.run(args, Main::serve, Rehearsals::simulate, Rehearsals::authority, Training::run));
         }
--- a/src/main/java/elderseam/OperatorFile.java
+++ b/src/main/java/elderseam/OperatorFile.java
@@ -9,13 +9,11 @@
 
 /** The operator's file, or one of before: {@code .properties} held the events' settings alone. */
 final class OperatorFile {
-    static final String DEFAULT = "deploy/elderseam.ini";
-
     private OperatorFile() {}
 
     static EventConfig events(Path file) throws IOException {
         if (file.toString().endsWith(".properties")) {
-            System.err.println(file + ": an events' file of before, its settings are read; " + DEFAULT + " has taken its place");
+            System.err.println(file + ": an events' file of before, its settings are read; " + Keys.FILE + " has taken its place");
             return EventConfig.old(file);
         }
         return EventConfig.of(settings(file));
@@ -23,7 +21,7 @@
 
     /** A file that was not asked for may be absent. */
     static Settings settings(Path file) throws IOException {
-        return file.equals(Path.of(DEFAULT)) && !Files.exists(file) ? Settings.none()
+        return file.equals(Path.of(Keys.FILE)) && !Files.exists(file) ? Settings.none()
                 : Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
     }
 }
--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -96,7 +96,7 @@
     static final class Serve implements Callable<Integer> {
         @CommandLine.ParentCommand
         private Commands parent;
-        @Parameters(index = "0", arity = "0..1", paramLabel = "SETTINGS", defaultValue = "deploy/elderseam.ini",
+        @Parameters(index = "0", arity = "0..1", paramLabel = "SETTINGS", defaultValue = Keys.FILE,
                 description = "the operator's settings (${DEFAULT-VALUE})")
         private Path settings;
 
@@ -156,18 +156,23 @@
         }
     }
 
-    @Command(name = "config", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "What the operator's settings say.", subcommands = {Check.class, Show.class})
-    static final class ConfigCommand implements Callable<Integer> {
+    /** A command that only holds others. */
+    abstract static class Group implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
 
         @Override
         public Integer call() {
-            throw new ParameterException(spec.commandLine(), "a command is missing: check or show");
+            throw new ParameterException(spec.commandLine(), "a command is missing: "
+                    + String.join(" or ", spec.subcommands().keySet()));
         }
     }
 
+    @Command(name = "config", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "What the operator's settings say.", subcommands = {Check.class, Show.class})
+    static final class ConfigCommand extends Group {
+    }
+
     @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "Tells every fault of a settings file, a line each; exits with 1 where there is one.")
     static final class Check implements Callable<Integer> {
@@ -189,7 +194,7 @@
     static final class Show implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Parameters(index = "0", arity = "0..1", paramLabel = "FILE", defaultValue = "deploy/elderseam.ini",
+        @Parameters(index = "0", arity = "0..1", paramLabel = "FILE", defaultValue = Keys.FILE,
                 description = "the operator's settings (${DEFAULT-VALUE})")
         private Path file;
         @Option(names = "--json", description = "one JSON object for each key")
@@ -219,14 +224,7 @@
 
     @Command(name = "gossip", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "The fleet's membership, as far as it is built: a trial in virtual time.", subcommands = TrialCommand.class)
-    static final class Gossip implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
-        @Override
-        public Integer call() {
-            throw new ParameterException(spec.commandLine(), "a command is missing: trial");
-        }
+    static final class Gossip extends Group {
     }
 
     @Command(name = "trial", mixinStandardHelpOptions = true, versionProvider = Version.class,
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -1,15 +1,12 @@
 package elderseam.gossip;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /**
  * Who is there, after SWIM (Das, Gupta, Motivala 2002): each period one member is probed in a shuffled round, first directly,
@@ -18,36 +15,14 @@
  * Lifeguard (Dadgar, Phillips, Currey 2018): a member whose own probes fail or whose helpers are silent takes itself to be
  * the slow one, and probes more slowly; suspicions begin long and shorten with each independent confirmation; a suspect is
  * told so by whoever probes it. The roles of dead and left members, the treatment of a foreign dead one as suspect in a full
- * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist.
+ * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist. {@link Roll} holds
+ * what is believed of whom; probes, helpers, rounds of rumours and exchanges are here.
  *
  * <p>Times are nanoseconds that never run backwards. {@link #tick} is to be called at {@link #nextAt}. Bounds: members by
  * whoever calls (a roster), helpers' questions 256.
  */
 public final class Membership {
-    private static final int MOST_RELAYS = 256, RUMOUR_BYTES = 24;
-
-    private final class Member {
-        final String name;
-        String address;
-        Standing standing = Standing.ALIVE;
-        long incarnation, since;
-        final Set<String> confirmed = new HashSet<>();   // who suspects it
-
-        Member(String name) {
-            this.name = name;
-        }
-
-        /** When its suspicion ends in death. */
-        long deadAt() {
-            int confirmations = Math.max(0, confirmed.size() - 1);
-            return since + tempo.suspicionNs(present(), Math.min(confirmations, tempo.expected(present())));
-        }
-
-        Rumour rumour() {
-            String from = standing == Standing.SUSPECT || standing == Standing.DEAD ? self : name;
-            return new Rumour(name, address, standing, incarnation, from);
-        }
-    }
+    private static final int MOST_RELAYS = 256;
 
     /** The probe of this period. */
     private static final class Probe {
@@ -64,16 +39,14 @@
     private final Tempo tempo;
     private final SplittableRandom random;
     private final List<String> seeds;
-    private final BiConsumer<String, Standing> changed;
-    private final Map<String, Member> members = new LinkedHashMap<>();   // not this one
+    private final Roll roll;
     private final List<Member> round = new ArrayList<>();
     private final Map<Long, Relay> relays = new TreeMap<>();
-    private final Spread<Rumour> rumours = new Spread<>(1_024, Membership::bytes);
     private List<Message.Sent> out = new ArrayList<>();
     private List<String> syncs = new ArrayList<>();
     private Probe probe;
-    private long incarnation, numbers, nextSync, nextNews;
-    private int health;
+    private long numbers, nextSync, nextNews;
+    private int health;   // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
     private boolean left;
 
     /**
@@ -85,62 +58,28 @@
         this.self = self;
         this.address = address;
         this.seeds = List.copyOf(seeds);
-        this.incarnation = incarnation;
         this.tempo = tempo;
         this.random = random;
-        this.changed = changed;
         this.nextSync = now;
         this.nextNews = now;
-        rumours.say(self, own(Standing.ALIVE));
+        this.roll = new Roll(self, address, incarnation, tempo, changed,
+                m -> round.add(random.nextInt(round.size() + 1), m), () -> feel(1));
         newProbe(now, (long) (random.nextDouble() * tempo.periodNs()));   // members that start together probe apart
     }
 
-    private Rumour own(Standing standing) {
-        return new Rumour(self, address, standing, incarnation, self);
-    }
-
-    /** Bytes of a rumour on the wire, at most. */
-    static int bytes(Rumour r) {
-        return RUMOUR_BYTES + r.member().length() + r.address().length() + r.from().length();
-    }
-
     // ---------------------------------------------------------------- what it knows
 
     /** Members that are not dead and have not left, with this one. */
     public int present() {
-        return 1 + (int) members.values().stream().filter(Membership::there).count();
-    }
-
-    private static boolean there(Member m) {
-        return m.standing == Standing.ALIVE || m.standing == Standing.SUSPECT;
+        return roll.present();
     }
 
     /** What is held of a member; null of one that is not known. */
     public Standing standing(String name) {
-        Member m = members.get(name);
+        Member m = roll.get(name);
         return name.equals(self) ? left ? Standing.LEFT : Standing.ALIVE : m == null ? null : m.standing;
     }
 
-    /** Where a member is reached, or null. */
-    public String address(String name) {
-        Member m = members.get(name);
-        return m == null ? null : m.address;
-    }
-
-    /** The names of those present, without this one. */
-    public List<String> others() {
-        return members.values().stream().filter(Membership::there).map(m -> m.name).toList();
-    }
-
-    public long incarnation() {
-        return incarnation;
-    }
-
-    /** How ill this member takes itself to be: 0 well, up to {@link Tempo#mostHealth}. */
-    public int health() {
-        return health;
-    }
-
     // ---------------------------------------------------------------- time
 
     /** When it wants its next tick. */
@@ -150,12 +89,12 @@
         }
         long at = Math.min(nextSync, probe.asked || probe.answered || probe.target == null ? probe.end
                 : Math.min(probe.answerBy, probe.end));
-        if (rumours.subjects() > 0 && !members.isEmpty()) {
+        if (roll.rumours().subjects() > 0 && !roll.all().isEmpty()) {
             at = Math.min(at, nextNews);
         }
-        for (Member m : members.values()) {
+        for (Member m : roll.all()) {
             if (m.standing == Standing.SUSPECT) {
-                at = Math.min(at, m.deadAt());
+                at = Math.min(at, roll.deadAt(m));
             }
         }
         for (Relay r : relays.values()) {
@@ -177,15 +116,7 @@
             }
             return now >= r.end;
         });
-        for (Member m : List.copyOf(members.values())) {
-            if (m.standing == Standing.SUSPECT && now >= m.deadAt()) {
-                become(m, Standing.DEAD, m.incarnation, now);
-                say(m);
-            } else if (!there(m) && now - m.since >= tempo.forgetNs()) {
-                members.remove(m.name);
-                rumours.forget(m.name);
-            }
-        }
+        roll.tick(now);
         if (now >= probe.end) {
             judge(now);
             newProbe(now, 0);
@@ -195,7 +126,7 @@
         if (now >= nextSync) {
             sync(now);
         }
-        if (now >= nextNews && rumours.subjects() > 0) {
+        if (now >= nextNews && roll.rumours().subjects() > 0) {
             news(now);
         }
     }
@@ -203,12 +134,20 @@
     /** Rumours for their own sake, at a pace that does not follow this member's health. */
     private void news(long now) {
         nextNews = now + tempo.newsNs();
-        List<Member> present = new ArrayList<>(members.values().stream().filter(Membership::there).toList());
-        for (int left = tempo.fan(); left > 0 && !present.isEmpty(); left--) {
-            out.add(new Message.Sent(present.remove(random.nextInt(present.size())).name, new Message.News(), List.of()));
+        for (Member m : some(tempo.fan(), Member::there)) {
+            out.add(new Message.Sent(m.name, new Message.News(), List.of()));
         }
     }
 
+    /** So many at random of those that fit, or all there are. */
+    private List<Member> some(int most, Predicate<Member> fits) {
+        List<Member> from = new ArrayList<>(roll.all().stream().filter(fits).toList()), some = new ArrayList<>();
+        for (int left = most; left > 0 && !from.isEmpty(); left--) {
+            some.add(from.remove(random.nextInt(from.size())));
+        }
+        return some;
+    }
+
     /** The period is over: whether the one probed has answered, and what that says of this member. */
     private void judge(long now) {
         Member m = probe.target;
@@ -220,8 +159,8 @@
             return;
         }
         feel(probe.helpers > 0 ? probe.helpers - probe.nacks : 1);
-        if (there(m)) {
-            suspect(m, m.incarnation, self, now);
+        if (m.there()) {
+            roll.suspect(m, m.incarnation, self, now);
         }
     }
 
@@ -234,7 +173,7 @@
         long slower = 1 + health;
         probe.end = now + tempo.periodNs() * slower + later;
         probe.answerBy = now + tempo.ackNs() * slower;
-        if (later > 0 || members.isEmpty()) {
+        if (later > 0 || roll.all().isEmpty()) {
             return;
         }
         for (boolean anew = false; probe.target == null; ) {
@@ -246,7 +185,7 @@
                 shuffle();
             }
             Member m = round.isEmpty() ? null : round.remove(round.size() - 1);   // one that has gone is passed over
-            if (m != null && there(m) && members.get(m.name) == m) {
+            if (m != null && m.there() && roll.holds(m)) {
                 probe.target = m;
                 probe.number = ++numbers;
                 ping(m, probe.number);
@@ -256,7 +195,7 @@
 
     /** One shuffled round after the other: each is probed within two rounds (SWIM, section 4.3). */
     private void shuffle() {
-        members.values().stream().filter(Membership::there).forEach(round::add);
+        roll.all().stream().filter(Member::there).forEach(round::add);
         for (int i = round.size() - 1; i > 0; i--) {
             int j = random.nextInt(i + 1);
             Member m = round.get(i);
@@ -268,15 +207,12 @@
     /** A suspect hears of it first of all (Lifeguard's buddy system). */
     private void ping(Member m, long number) {
         out.add(new Message.Sent(m.name, new Message.Ping(number, m.name),
-                m.standing == Standing.SUSPECT ? List.of(m.rumour()) : List.of()));
+                m.standing == Standing.SUSPECT ? List.of(roll.of(m)) : List.of()));
     }
 
     private void askOthers() {
         probe.asked = true;
-        List<Member> helpers = new ArrayList<>(members.values().stream()
-                .filter(m -> m.standing == Standing.ALIVE && m != probe.target).toList());
-        for (int left = tempo.indirect(); left > 0 && !helpers.isEmpty(); left--) {
-            Member m = helpers.remove(random.nextInt(helpers.size()));
+        for (Member m : some(tempo.indirect(), m -> m.standing == Standing.ALIVE && m != probe.target)) {
             probe.helpers++;
             send(m.name, new Message.PingFor(probe.number, probe.target.name));
         }
@@ -287,10 +223,10 @@
         // less often in a large fleet, whose state is larger: so the bytes a second stay
         double scale = Math.max(1, present() / 32.0);
         nextSync = now + (long) (tempo.syncNs() * scale * (0.75 + 0.5 * random.nextDouble()));
-        List<Member> present = members.values().stream().filter(Membership::there).toList();
-        List<String> lost = new ArrayList<>(members.values().stream().filter(m -> m.standing == Standing.DEAD)
+        List<Member> present = roll.all().stream().filter(Member::there).toList();
+        List<String> lost = new ArrayList<>(roll.all().stream().filter(m -> m.standing == Standing.DEAD)
                 .map(m -> m.address).toList());
-        seeds.stream().filter(s -> !s.equals(address) && members.values().stream().noneMatch(m -> there(m) && m.address.equals(s)))
+        seeds.stream().filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
                 .forEach(lost::add);
         if (present.isEmpty()) {
             nextSync = Math.min(nextSync, now + 2 * tempo.periodNs());   // alone: joins as soon as a seed is there
@@ -315,7 +251,7 @@
                 send(from, new Message.Ack(p.number()));
             }
         } else if (message instanceof Message.PingFor p) {
-            Member m = members.get(p.target());
+            Member m = roll.get(p.target());
             if (m != null && relays.size() < MOST_RELAYS) {
                 long number = ++numbers;
                 relays.put(number, new Relay(from, p.number(), now + tempo.ackNs() * 4 / 5, now + tempo.periodNs() * 2,
@@ -338,112 +274,27 @@
 
     /** A rumour that travelled along. */
     public void hear(Rumour r, long now) {
-        if (left) {
-            return;
-        }
-        if (r.member().equals(self)) {
-            hearOfSelf(r);
-            return;
-        }
-        Member m = members.get(r.member());
-        if (m == null) {
-            if (r.standing() == Standing.ALIVE || r.standing() == Standing.SUSPECT) {
-                m = new Member(r.member());
-                m.address = r.address();
-                m.incarnation = r.incarnation();
-                m.since = now;
-                members.put(m.name, m);
-                round.add(random.nextInt(round.size() + 1), m);
-                changed.accept(m.name, Standing.ALIVE);
-                say(m);
-                if (r.standing() == Standing.SUSPECT) {
-                    suspect(m, r.incarnation(), r.from(), now);
-                }
-            }
-            return;
-        }
-        switch (r.standing()) {
-            case ALIVE -> {
-                if (r.incarnation() > m.incarnation) {
-                    m.address = r.address();
-                    become(m, Standing.ALIVE, r.incarnation(), now);
-                    say(m);
-                }
-            }
-            case SUSPECT -> {
-                if (r.incarnation() >= m.incarnation && there(m)) {
-                    suspect(m, r.incarnation(), r.from(), now);
-                }
-            }
-            case DEAD, LEFT -> {
-                if (r.incarnation() >= m.incarnation && there(m)) {
-                    become(m, r.standing(), r.incarnation(), now);
-                    say(m);
-                }
-            }
+        if (!left) {
+            roll.hear(r, now);
         }
     }
 
-    /** Another's whole state; its dead are only suspects here, so that they may speak for themselves. */
+    /** Another's whole state. */
     public void merge(List<Rumour> state, long now) {
-        for (Rumour r : state) {
-            hear(r.standing() == Standing.DEAD ? new Rumour(r.member(), r.address(), Standing.SUSPECT, r.incarnation(), r.from())
-                    : r, now);
+        if (!left) {
+            roll.merge(state, now);
         }
     }
 
     /** The whole state, with this member. */
     public List<Rumour> state() {
-        List<Rumour> all = new ArrayList<>();
-        all.add(own(left ? Standing.LEFT : Standing.ALIVE));
-        members.values().forEach(m -> all.add(m.rumour()));
-        return all;
-    }
-
-    private void hearOfSelf(Rumour r) {
-        boolean wrong = r.standing() != Standing.ALIVE && r.incarnation() >= incarnation
-                || r.standing() == Standing.ALIVE && (r.incarnation() > incarnation
-                || r.incarnation() == incarnation && !r.address().equals(address));
-        if (wrong) {
-            incarnation = r.incarnation() + 1;
-            if (r.standing() == Standing.SUSPECT) {
-                feel(1);
-            }
-            rumours.say(self, own(Standing.ALIVE));
-        }
-    }
-
-    private void suspect(Member m, long atIncarnation, String from, long now) {
-        if (m.standing == Standing.SUSPECT && atIncarnation == m.incarnation) {
-            if (m.confirmed.size() <= tempo.expected(present()) && m.confirmed.add(from)) {
-                rumours.say(m.name, new Rumour(m.name, m.address, Standing.SUSPECT, m.incarnation, from));
-            }
-            return;
-        }
-        become(m, Standing.SUSPECT, atIncarnation, now);
-        m.confirmed.add(from);
-        rumours.say(m.name, new Rumour(m.name, m.address, Standing.SUSPECT, m.incarnation, from));
-    }
-
-    private void become(Member m, Standing standing, long atIncarnation, long now) {
-        Standing before = m.standing;
-        m.standing = standing;
-        m.incarnation = atIncarnation;
-        m.since = now;
-        m.confirmed.clear();
-        if (before != standing) {
-            changed.accept(m.name, standing);
-        }
-    }
-
-    private void say(Member m) {
-        rumours.say(m.name, m.rumour());
+        return roll.state(left ? Standing.LEFT : Standing.ALIVE);
     }
 
     // ---------------------------------------------------------------- what goes out
 
     private void send(String to, Message message) {
-        if (members.containsKey(to)) {
+        if (roll.get(to) != null) {
             out.add(new Message.Sent(to, message, List.of()));
         }
     }
@@ -464,33 +315,16 @@
 
     /** Rumours to go along with a message, so many bytes at most. */
     public List<Rumour> along(int bytes) {
-        return rumours.take(bytes, tempo.transmits(present()));
-    }
-
-    /** One that is not on the roster any more. */
-    public void remove(String name, long now) {
-        Member m = members.remove(name);
-        rumours.forget(name);
-        if (m != null && there(m)) {
-            changed.accept(name, Standing.LEFT);
-        }
+        return roll.rumours().take(bytes, tempo.transmits(present()));
     }
 
     /** Says good-bye: to some at once, from whom it travels on; after that nothing is done any more. */
     public void leave() {
-        rumours.say(self, own(Standing.LEFT));
-        List<Member> present = new ArrayList<>(members.values().stream().filter(Membership::there).toList());
-        for (int n = tempo.transmits(present()); n > 0 && !present.isEmpty(); n--) {
-            Member m = present.remove(random.nextInt(present.size()));
-            out.add(new Message.Sent(m.name, new Message.Ping(++numbers, m.name), List.of(own(Standing.LEFT))));
+        Rumour goodBye = roll.own(Standing.LEFT);
+        roll.rumours().say(self, goodBye);
+        for (Member m : some(tempo.transmits(present()), Member::there)) {
+            out.add(new Message.Sent(m.name, new Message.Ping(++numbers, m.name), List.of(goodBye)));
         }
         left = true;
     }
-
-    /** Standing by name, for a look from outside. */
-    public Map<String, Standing> standings() {
-        Map<String, Standing> all = new HashMap<>();
-        members.forEach((name, m) -> all.put(name, m.standing));
-        return all;
-    }
 }
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/gossip/trial/Fleet.java
@@ -206,7 +206,7 @@
             if (most > 0) {
                 along.addAll(n.membership.along(most - 32 * along.size()));
             }
-            int size = HEAD + along.stream().mapToInt(r -> 24 + r.member().length() + r.address().length() + r.from().length()).sum();
+            int size = HEAD + along.stream().mapToInt(Rumour::bytes).sum();
             if (n.ceiling.take(size, n.now())) {
                 n.bytes += size;
                 n.datagrams++;
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -4,6 +4,9 @@
 
 /** Every key of {@code deploy/elderseam.ini}. */
 public final class Keys {
+    /** Where that file is unless told. */
+    public static final String FILE = "deploy/elderseam.ini";
+
     private static final String NAME = "[A-Za-z0-9._-]{1,64}", PATH = "[^\\x00-\\x1f]{1,4096}";
 
     public static final Key<String> EVENTS_LISTEN = Key.listen("events", "listen");
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -48,6 +48,13 @@
         assertEquals(List.of(progress, failure), List.of(r.progress(), r.failure()));
     }
 
+    /** Reads to the end of the headers. */
+    private static void head(InputStream in) throws java.io.IOException {
+        for (int seen = 0; seen < 4; ) {
+            seen = in.read() == "\r\n\r\n".charAt(seen) ? seen + 1 : 0;
+        }
+    }
+
     @Test
     void aRefusedConnection() throws Exception {
         ServerSocket server = new ServerSocket(0, 1, HERE);
@@ -78,11 +85,8 @@
             check(Progress.PARTLY_WRITTEN, Status.BROKEN, large);
             CompletableFuture<Reply> small = send(server.getLocalPort(), 10, 5_000);
             try (Socket s = server.accept()) {
-                InputStream in = s.getInputStream();
-                for (int seen = 0; seen < 4; ) {   // to the end of the headers, then the body
-                    seen = in.read() == "\r\n\r\n".charAt(seen) ? seen + 1 : 0;
-                }
-                in.readNBytes(10);
+                head(s.getInputStream());
+                s.getInputStream().readNBytes(10);
                 s.setSoLinger(true, 0);
             }
             check(Progress.WRITTEN, Status.BROKEN, small);
@@ -121,9 +125,7 @@
                 io.run(() -> request.complete(connections.send(host, call, by, by, () -> true, late::complete, reply::complete)));
                 try (Socket s = server.accept()) {
                     InputStream in = s.getInputStream();
-                    for (int seen = 0; seen < 4; ) {
-                        seen = in.read() == "\r\n\r\n".charAt(seen) ? seen + 1 : 0;
-                    }
+                    head(in);
                     byte[] answer = "HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
                             .getBytes();
                     if (before) {
