--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,4 @@
 figures: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -7,6 +7,7 @@
 import elderseam.core.Relay;
 import elderseam.http.Connections;
 import elderseam.http.Io;
+import elderseam.http.Lean;
 import elderseam.http.Server;
 import elderseam.http.UpstreamHost;
 import elderseam.platform.Config;
@@ -15,14 +16,15 @@
 import elderseam.platform.Limits;
 import elderseam.platform.PlatformFront;
 import elderseam.platform.PlatformUpstream;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /** One dispatcher, in the order of its life: start, recovery, readiness, reload, drain. */
 final class Daemon {
@@ -30,29 +32,42 @@
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
     private static final int MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
-    /** Held, since a logger that nobody holds forgets its level. */
-    private static final List<Logger> QUIET = new ArrayList<>();
 
     private final Config config;
     private final Io io;
     private final Relay relay;
     private final PlatformFront front;
     private final Discovery discovery;
+    private final Path settingsFile;
+    private final Settings settings;
+    private Gossip gossip;   // null while it is off
     private final List<Server> servers = new ArrayList<>();
     private final long born;
 
+    /** The gossip, as far as the daemon's life goes: none of its classes is loaded while it is off. */
+    interface Gossip {
+        /** Reads what its settings name; what applies it, whole. */
+        Runnable reload(Settings fresh) throws IOException;
+
+        /** Says good-bye to the fleet. */
+        void leave();
+    }
+
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
     static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         Clock clock = new Clock();
         long born = clock.now();
-        lean();
-        EventConfig events = OperatorFile.events(settingsFile);
+        Lean.start();
+        OperatorFile.Read told = OperatorFile.read(settingsFile);
         Config config = Config.read(variables);
         Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
         Io io = new Io(clock);
         io.run(() -> {
             try {
-                new Daemon(config, events, journal, io, born).begin(variables);
+                new Daemon(config, told, settingsFile, journal, io, born).begin(variables);
+            } catch (SettingsFault e) {
+                e.faults().forEach(System.err::println);
+                Runtime.getRuntime().halt(1);
             } catch (IOException | RuntimeException e) {
                 e.printStackTrace();
                 Runtime.getRuntime().halt(1);
@@ -60,34 +75,20 @@
         });
     }
 
-    /**
-     * What XNIO does of its own accord at a start and nobody here reads: it registers MBeans, for which the JVM's whole
-     * management starts (a fifth of the CPU of a start, and 7 MB), and greets with its version. An operator who asks for
-     * JMX on the command line has it still: that starts before.
-     */
-    private static void lean() {
-        if (System.getProperty("javax.management.builder.initial") == null
-                && System.getProperty("com.sun.management.jmxremote") == null) {
-            System.setProperty("javax.management.builder.initial", "none");
-        }
-        for (String name : List.of("org.xnio", "org.jboss.threads", "io.undertow")) {
-            Logger logger = Logger.getLogger(name);
-            logger.setLevel(Level.WARNING);
-            QUIET.add(logger);
-        }
-    }
-
-    private Daemon(Config config, EventConfig events, Journal journal, Io io, long born) throws IOException {
+    private Daemon(Config config, OperatorFile.Read told, Path settingsFile, Journal journal, Io io, long born) throws IOException {
+        EventConfig events = told.events();
+        this.settings = told.settings();
+        this.settingsFile = settingsFile;
         this.config = config;
         this.io = io;
         this.born = born;
-        var settings = config.settings().settings();
+        var module = config.settings().settings();
         Limits limits = config.limits();
-        long idleNs = settings.connections().idleNs() * 4 / 5;
+        long idleNs = module.connections().idleNs() * 4 / 5;
         Hosts hosts = new Hosts(config.settings());
         Connections upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
         Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
-        relay = new Relay(settings, config.seed(), journal, io.clock, io);
+        relay = new Relay(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
         front = new PlatformFront(io, platform, discovery(config), relay, config.settings());
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
@@ -102,6 +103,9 @@
         } else {
             servers.add(server(0));
         }
+        if (!settings.get(Keys.GOSSIP_LISTEN).equals("off")) {
+            gossip = new GossipWiring(io, settings, relay);
+        }
     }
 
     private Server server(int eventClients) throws IOException {
@@ -120,7 +124,7 @@
                     + io.longestAway() / Clock.MS + " ms at most");
         }));
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
-        Reload.onHangUp(variables, fresh -> io.run(() -> reload(fresh)));
+        Reload.onHangUp(() -> reading(variables), io::run);
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
@@ -128,10 +132,19 @@
         return new UpstreamHost("discovery", config.discovery());
     }
 
-    private void reload(Config fresh) {
-        discovery.move(discovery(fresh));
-        front.move(discovery(fresh));
-        System.err.println("configuration read again, discovery at " + fresh.discovery());
+    /** All is read, on the signal's thread, before any of it counts. */
+    private Runnable reading(Map<String, String> variables) throws IOException {
+        Config fresh = Config.read(variables);
+        Settings told = OperatorFile.settings(settingsFile);
+        Runnable rest = gossip == null ? () -> { } : gossip.reload(told);
+        List<String> later = settings.changed(told, Keys.ALL, false);
+        return () -> {
+            discovery.move(discovery(fresh));
+            front.move(discovery(fresh));
+            rest.run();
+            System.err.println("configuration read again, discovery at " + fresh.discovery()
+                    + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
+        };
     }
 
     /** On SIGTERM: answers all that comes, settles what is out, and ends with 0. */
@@ -139,6 +152,9 @@
         long start = io.clock.now();
         CountDownLatch ended = new CountDownLatch(1);
         io.run(() -> {
+            if (gossip != null) {
+                gossip.leave();
+            }
             front.closing();
             servers.forEach(Server::closing);
             relay.closing(start + END_NS);
--- /dev/null
+++ b/src/main/java/elderseam/GossipWiring.java
@@ -0,0 +1,71 @@
+package elderseam;
+
+import elderseam.core.Clock;
+import elderseam.core.Relay;
+import elderseam.gossip.Agent;
+import elderseam.gossip.Claim;
+import elderseam.gossip.Tempo;
+import elderseam.gossip.net.Opening;
+import elderseam.gossip.net.Post;
+import elderseam.gossip.trust.Roster;
+import elderseam.http.Io;
+import elderseam.module.Sender;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Wires the gossip to the relay; where it is off this class is not loaded. */
+final class GossipWiring implements Daemon.Gossip {
+    private static final Map<Sender.Standing, Claim.State> STATES = Map.of(Sender.Standing.CLOSED, Claim.State.CLOSED,
+            Sender.Standing.HALF_OPEN, Claim.State.HALF_OPEN, Sender.Standing.OPEN, Claim.State.OPEN);
+
+    private final Opening opening;
+    private final Relay relay;
+    private final Post post;
+    private boolean weigh;
+
+    /** Reads key and roster, and binds; faults end the start. */
+    GossipWiring(Io io, Settings s, Relay relay) throws IOException {
+        this.opening = Opening.read(s);
+        this.relay = relay;
+        this.weigh = weighs(s);
+        this.post = new Post(io, opening.place(), opening.keys(), Tempo.USUAL, new Post.Ties(this::own, this::advise, words -> System.err.println("gossip: " + words)));
+    }
+
+    private static boolean weighs(Settings s) {
+        return s.get(Keys.GOSSIP_WEIGH).equals("on");
+    }
+
+    private List<Agent.Own> own() {
+        List<Agent.Own> all = new ArrayList<>();
+        relay.breakers((destination, b) -> all.add(new Agent.Own(destination, STATES.get(b.standing()),
+                (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)), b.calls(), b.failed())));
+        return all;
+    }
+
+    private void advise(long destination, Agent.Word word) {
+        relay.advise(destination, weigh ? word.doubt() : 0, weigh ? word.trying() : 0);
+    }
+
+    @Override
+    public Runnable reload(Settings fresh) throws IOException {
+        if (fresh.get(Keys.GOSSIP_LISTEN).equals("off")) {   // from the next start; until then it goes on as it is
+            return () -> { };
+        }
+        Roster roster = Opening.roster(fresh, opening.place().name(), opening.key());
+        return () -> {
+            weigh = weighs(fresh);
+            post.ceiling(fresh.get(Keys.GOSSIP_BYTES), fresh.get(Keys.GOSSIP_DATAGRAMS));
+            post.roster(roster);
+            System.err.println("gossip: " + post.counts());
+        };
+    }
+
+    @Override
+    public void leave() {
+        post.leave();
+    }
+}
--- a/src/main/java/elderseam/Reload.java
+++ b/src/main/java/elderseam/Reload.java
@@ -1,10 +1,8 @@
 package elderseam;
 
-import elderseam.platform.Config;
 import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -13,15 +11,22 @@
  * the compiler warns of it however it is told not to.
  */
 final class Reload {
+    /** Reads all that there is to read, or fails: what applies it, whole, on the thread that owns things. */
+    interface Reading {
+        Runnable read() throws IOException;
+    }
+
+    private static final int MOST_FAULTS = 20;
+
     private Reload() {}
 
-    /** {@code use} is given each configuration that could be read. */
-    static void onHangUp(Map<String, String> variables, Consumer<Config> use) {
+    /** {@code use} is given what applies each reading that could be made. */
+    static void onHangUp(Reading reading, Consumer<Runnable> use) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
             InvocationHandler read = (proxy, method, args) -> {
                 if (method.getName().equals("handle")) {
-                    read(variables, use);
+                    read(reading, use);
                 }
                 return null;
             };
@@ -33,11 +38,12 @@
     }
 
     /** One at a time: each signal has a thread of its own. */
-    private static synchronized void read(Map<String, String> variables, Consumer<Config> use) {
+    private static synchronized void read(Reading reading, Consumer<Runnable> use) {
         try {
-            use.accept(Config.read(variables));
+            use.accept(reading.read());
         } catch (IOException | RuntimeException e) {
-            System.err.println("configuration kept, the new one can't be used: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            String.valueOf(e.getMessage()).lines().limit(MOST_FAULTS).forEach(fault ->
+                    System.err.println("configuration kept, the new one can't be used: " + fault));
         }
     }
 }
--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -1,6 +1,5 @@
 package elderseam.cli;
 
-import elderseam.gossip.trial.Trial;
 import elderseam.settings.Key;
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
@@ -23,7 +22,7 @@
 @Command(name = "elderseam", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "A dispatcher that delivers messages to partners, and its test and rehearsal kit.",
         subcommands = {Commands.Serve.class, Commands.SimHost.class, Commands.AuthorityCommand.class, Commands.Train.class,
-            Commands.ConfigCommand.class, Commands.Gossip.class})
+            Commands.ConfigCommand.class, KeysCommand.class, GossipCommand.class})
 public final class Commands implements Callable<Integer> {
     /** Something that the wiring starts. */
     public interface Start {
@@ -221,47 +220,4 @@
             return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
         }
     }
-
-    @Command(name = "gossip", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "The fleet's membership, as far as it is built: a trial in virtual time.", subcommands = TrialCommand.class)
-    static final class Gossip extends Group {
-    }
-
-    @Command(name = "trial", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "A fleet joins, runs undisturbed, loses one member and finds out. One seed gives the same bytes each time.")
-    static final class TrialCommand implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Option(names = "--instances", defaultValue = "5", description = "3 to 1000 (${DEFAULT-VALUE})")
-        private int instances;
-        @Option(names = "--loss", defaultValue = "0", description = "share of datagrams lost, 0 to 0.9 (${DEFAULT-VALUE})")
-        private double loss;
-        @Option(names = "--no-local-health", description = "without Lifeguard's parts")
-        private boolean plain;
-        @Option(names = "--undisturbed", defaultValue = "60", paramLabel = "SECONDS", description = "of virtual time (${DEFAULT-VALUE})")
-        private int seconds;
-        @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
-        private long seed;
-        @Option(names = "--json", paramLabel = "FILE", description = "writes one JSON object there; - for standard output, alone")
-        private Path json;
-
-        @Override
-        public Integer call() throws IOException {
-            Trial trial;
-            try {
-                trial = Trial.run(instances, loss, !plain, seconds, seed);
-            } catch (IllegalArgumentException e) {
-                throw new ParameterException(spec.commandLine(), e.getMessage());
-            }
-            if (json != null && json.toString().equals("-")) {
-                spec.commandLine().getOut().println(trial.json());
-                return 0;
-            }
-            if (json != null) {
-                Files.writeString(json, trial.json() + "\n");
-            }
-            spec.commandLine().getOut().println(trial.words().stripTrailing());   // print alone would not flush
-            return 0;
-        }
-    }
 }
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** The module in blocking style: {@link #report} what happened, {@link #tick} the clock, {@link #pick} what to do. */
@@ -100,6 +101,18 @@
         return brain.mayCall(now, host);
     }
 
+    /** How each destination stands. */
+    void breakers(long time, BiConsumer<Long, Sender.Breaker> each) {
+        now = Math.max(now, time);
+        brain.breakers(now, each);
+    }
+
+    /** What others say of a destination. */
+    void advise(long time, long destination, double doubt, double trying) {
+        now = Math.max(now, time);
+        brain.advised(now, destination, doubt, trying);
+    }
+
     /** The list of hosts changed, was told whole, or could not be had. */
     void report(long time, Sender.ListKind kind, List<Sender.Endpoint> hosts) {
         at(time);
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 
 /**
@@ -153,6 +154,16 @@
         turn();
     }
 
+    /** How each destination stands, for those who share it. */
+    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
+        facade.breakers(clock.now(), each);
+    }
+
+    /** What others say of a destination: it weighs own failures, and decides nothing by itself. */
+    public void advise(long destination, double doubt, double trying) {
+        facade.advise(clock.now(), destination, doubt, trying);
+    }
+
     public int held() {
         return streams.size();
     }
--- a/src/main/java/elderseam/gossip/Advice.java
+++ b/src/main/java/elderseam/gossip/Advice.java
@@ -6,7 +6,8 @@
 
 /**
  * What claims may do: an arithmetic of doubt. The doubt about a destination, 0 to 1, only makes own failures weigh more; it
- * does nothing where there are none. Each reporter is worth at most 1, and the first of them nothing: one alone is below the
+ * does nothing where there are none. Each reporter is worth at most 1,
+ * times what its evidence says, and the first of them nothing: one alone is below the
  * least effect, whatever it says, and the doubt grows with what the others add, to 1 at four of full worth.
  *
  * <p>A reporter that says open of a destination that answers this member's own calls well loses half of its worth, once for a
@@ -54,11 +55,19 @@
             if (well) {
                 contradict(c, now);
             }
-            sum += worth(c.reporter(), now);
+            sum += worth(c.reporter(), now) * evidence(c);
         }
         return well ? 0 : Math.max(0, Math.min(1, (sum - 1) / (FULL - 1)));
     }
 
+    /**
+     * How far what it saw speaks of an outage: nothing below two failures of five calls, all at four of five, with two calls
+     * more laid to the other side. Where a third of all calls fail, breakers trip now and then: others are not to follow.
+     */
+    static double evidence(Claim c) {
+        return Math.max(0, Math.min(1, ((double) c.failures() / (c.calls() + 2) - 0.4) / 0.4));
+    }
+
     private void contradict(Claim c, long now) {
         double before = worth(c.reporter(), now);
         Worth w = worth.computeIfAbsent(c.reporter(), r -> new Worth());
--- a/src/main/java/elderseam/gossip/Ceiling.java
+++ b/src/main/java/elderseam/gossip/Ceiling.java
@@ -5,26 +5,17 @@
  * worth deep. One thread owns it.
  */
 public final class Ceiling {
-    private final double bytesPerS, datagramsPerS;
-    private double bytes, datagrams;
-    private long at;
+    private final Bucket bytes, datagrams;
     private long refused;
 
     public Ceiling(double bytesPerS, double datagramsPerS, long now) {
-        if (bytesPerS <= 0 || datagramsPerS <= 0) {
-            throw new IllegalArgumentException("a ceiling is above 0");
-        }
-        this.bytesPerS = bytesPerS;
-        this.datagramsPerS = datagramsPerS;
-        this.bytes = bytesPerS;
-        this.datagrams = datagramsPerS;
-        this.at = now;
+        this.bytes = new Bucket(bytesPerS, bytesPerS, now);
+        this.datagrams = new Bucket(datagramsPerS, datagramsPerS, now);
     }
 
     /** Bytes that one datagram may have now, 0 where none may leave. */
     public int room(long now) {
-        refill(now);
-        return datagrams < 1 ? 0 : (int) Math.min(Integer.MAX_VALUE, Math.max(0, bytes));
+        return datagrams.level(now) < 1 ? 0 : (int) Math.min(Integer.MAX_VALUE, bytes.level(now));
     }
 
     /** Takes one datagram of so many bytes; false, and counted, where it may not leave. */
@@ -33,20 +24,17 @@
             refused++;
             return false;
         }
-        bytes -= size;
-        datagrams--;
-        return true;
+        return bytes.take(size, now) && datagrams.take(1, now);
+    }
+
+    /** Other limits from now on. */
+    public void set(double bytesPerS, double datagramsPerS, long now) {
+        bytes.set(bytesPerS, bytesPerS, now);
+        datagrams.set(datagramsPerS, datagramsPerS, now);
     }
 
     /** Datagrams that did not leave. */
     public long refused() {
         return refused;
     }
-
-    private void refill(long now) {
-        double dt = Math.max(0, now - at) / 1e9;
-        at = Math.max(at, now);
-        bytes = Math.min(bytesPerS, bytes + dt * bytesPerS);
-        datagrams = Math.min(datagramsPerS, datagrams + dt * datagramsPerS);
-    }
 }
--- a/src/main/java/elderseam/gossip/Claims.java
+++ b/src/main/java/elderseam/gossip/Claims.java
@@ -5,6 +5,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The claims that are held: of each reporter and destination the newest. As a state it is a join semilattice, the product of
@@ -50,6 +52,34 @@
         return true;
     }
 
+    /** Whether {@link #hear} would take it for news, as far as its own number tells. */
+    public boolean isNews(Claim c) {
+        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        return h == null || Claim.AGE.compare(c, h.claim) > 0;
+    }
+
+    /** Whether that very claim is held and counts now. */
+    boolean counts(Claim c, long now) {
+        return holds(c) && now - byReporter.get(c.reporter()).get(c.destination()).heardAt < TTL_NS;
+    }
+
+    /** Whether that very claim is held. */
+    boolean holds(Claim c) {
+        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        return h != null && h.claim.equals(c);
+    }
+
+    /** Destinations of which anybody but that one says something that counts now. */
+    Set<Long> destinations(String but, long now) {
+        Set<Long> all = new TreeSet<>();
+        byReporter.forEach((reporter, of) -> of.forEach((destination, h) -> {
+            if (!reporter.equals(but) && now - h.heardAt < TTL_NS) {
+                all.add(destination);
+            }
+        }));
+        return all;
+    }
+
     /** The claims that count now, of one destination. */
     public List<Claim> of(long destination, long now) {
         List<Claim> found = new ArrayList<>();
--- a/src/main/java/elderseam/gossip/Member.java
+++ b/src/main/java/elderseam/gossip/Member.java
@@ -8,6 +8,7 @@
     final String name;
     String address;
     Standing standing = Standing.ALIVE;
+    int at;   // its place in the roll's list
     long incarnation, since;
     final Set<String> confirmed = new HashSet<>();   // who suspects it
 
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -22,7 +22,7 @@
  * whoever calls (a roster), helpers' questions 256.
  */
 public final class Membership {
-    private static final int MOST_RELAYS = 256;
+    private static final int MOST_RELAYS = 256, DRAWS = 4;
 
     /** The probe of this period. */
     private static final class Probe {
@@ -92,7 +92,7 @@
         if (roll.rumours().subjects() > 0 && !roll.all().isEmpty()) {
             at = Math.min(at, nextNews);
         }
-        for (Member m : roll.all()) {
+        for (Member m : roll.notAlive()) {
             if (m.standing == Standing.SUSPECT) {
                 at = Math.min(at, roll.deadAt(m));
             }
@@ -141,9 +141,18 @@
 
     /** So many at random of those that fit, or all there are. */
     private List<Member> some(int most, Predicate<Member> fits) {
-        List<Member> from = new ArrayList<>(roll.all().stream().filter(fits).toList()), some = new ArrayList<>();
-        for (int left = most; left > 0 && !from.isEmpty(); left--) {
-            some.add(from.remove(random.nextInt(from.size())));
+        List<Member> all = roll.all(), some = new ArrayList<>();
+        for (int tries = DRAWS * most; tries > 0 && some.size() < most && !all.isEmpty(); tries--) {   // nearly all fit, as a rule
+            Member m = all.get(random.nextInt(all.size()));
+            if (fits.test(m) && !some.contains(m)) {
+                some.add(m);
+            }
+        }
+        if (some.size() < most && some.size() < all.size()) {
+            List<Member> rest = new ArrayList<>(all.stream().filter(fits).filter(m -> !some.contains(m)).toList());
+            while (some.size() < most && !rest.isEmpty()) {
+                some.add(rest.remove(random.nextInt(rest.size())));
+            }
         }
         return some;
     }
@@ -223,8 +232,8 @@
         // less often in a large fleet, whose state is larger: so the bytes a second stay
         double scale = Math.max(1, present() / 32.0);
         nextSync = now + (long) (tempo.syncNs() * scale * (0.75 + 0.5 * random.nextDouble()));
-        List<Member> present = roll.all().stream().filter(Member::there).toList();
-        List<String> lost = new ArrayList<>(roll.all().stream().filter(m -> m.standing == Standing.DEAD)
+        List<Member> present = some(1, Member::there);
+        List<String> lost = new ArrayList<>(roll.notAlive().stream().filter(m -> m.standing == Standing.DEAD)
                 .map(m -> m.address).toList());
         seeds.stream().filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
                 .forEach(lost::add);
@@ -233,7 +242,7 @@
             syncs.addAll(lost.isEmpty() ? List.of() : List.of(lost.get(random.nextInt(lost.size()))));
             return;
         }
-        syncs.add(present.get(random.nextInt(present.size())).address);
+        syncs.add(present.get(0).address);
         if (!lost.isEmpty()) {
             syncs.add(lost.get(random.nextInt(lost.size())));
         }
@@ -318,6 +327,37 @@
         return roll.rumours().take(bytes, tempo.transmits(present()));
     }
 
+    /** How often a rumour is sent along. */
+    int transmits() {
+        return tempo.transmits(present());
+    }
+
+    /** Where a member is to be reached; null of one that is not known. */
+    public String address(String name) {
+        Member m = roll.get(name);
+        return m == null ? null : m.address;
+    }
+
+    /** Who is at that address; empty where nobody is known to be. */
+    public String nameAt(String at) {
+        return roll.all().stream().filter(m -> m.address.equals(at)).map(m -> m.name).findFirst().orElse("");
+    }
+
+    /** Every member but this one, as it is held, for those who look. */
+    public List<Rumour> seen() {
+        return roll.all().stream().map(m -> new Rumour(m.name, m.address, m.standing, m.incarnation, m.name)).toList();
+    }
+
+    /** How ill this member takes itself to be, 0 to {@link Tempo#mostHealth}. */
+    public int health() {
+        return health;
+    }
+
+    /** One that is not on the roster any more; what is still said of it is for the caller to pass over. */
+    public void remove(String name) {
+        roll.remove(name);
+    }
+
     /** Says good-bye: to some at once, from whom it travels on; after that nothing is done any more. */
     public void leave() {
         Rumour goodBye = roll.own(Standing.LEFT);
--- a/src/main/java/elderseam/gossip/Message.java
+++ b/src/main/java/elderseam/gossip/Message.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What members say to each other by datagrams, without what travels along. */
+/** What members say to each other, without what travels along. */
 public sealed interface Message {
     /** Are you there? {@code target}: who is asked, since an address may have passed to another. */
     record Ping(long number, String target) implements Message {}
@@ -19,6 +19,9 @@
     /** Nothing but what travels along. */
     record News() implements Message {}
 
+    /** All that I hold travels along; {@code answer}: I have got yours. */
+    record State(boolean answer) implements Message {}
+
     /** A message to a member. */
     record Sent(String to, Message message, List<Rumour> first) {}
 }
--- a/src/main/java/elderseam/gossip/Roll.java
+++ b/src/main/java/elderseam/gossip/Roll.java
@@ -24,6 +24,9 @@
     private final Map<String, Member> members = new LinkedHashMap<>();   // not this one
     private final Spread<Rumour> rumours = new Spread<>(MOST_SUBJECTS, Rumour::bytes);
     private long incarnation;
+    /** The same members, so that one can be drawn; those that wait for something: suspects for their end, others to be forgotten. */
+    private final List<Member> list = new ArrayList<>();
+    private final Map<String, Member> waiting = new LinkedHashMap<>();
     private int there;   // members that are neither dead nor left
 
     /** {@code joined}: told of each new member before {@code changed} is; {@code accused}: run when this one hears itself
@@ -51,8 +54,13 @@
         return new Rumour(m.name, m.address, m.standing, m.incarnation, from);
     }
 
-    Collection<Member> all() {
-        return members.values();
+    List<Member> all() {
+        return list;
+    }
+
+    /** Suspects, dead and left ones. */
+    Collection<Member> notAlive() {
+        return waiting.values();
     }
 
     Member get(String name) {
@@ -80,7 +88,7 @@
 
     /** Suspicions end, and those long gone are forgotten. */
     void tick(long now) {
-        for (Member m : List.copyOf(members.values())) {
+        for (Member m : waiting.isEmpty() ? List.<Member>of() : List.copyOf(waiting.values())) {
             if (m.standing == Standing.SUSPECT && now >= deadAt(m)) {
                 become(m, Standing.DEAD, m.incarnation, now);
                 say(m);
@@ -134,6 +142,8 @@
         }
         Member m = new Member(r.member(), r.address(), r.incarnation(), now);
         members.put(m.name, m);
+        m.at = list.size();
+        list.add(m);
         there++;
         joined.accept(m);
         changed.accept(m.name, Standing.ALIVE);
@@ -175,6 +185,11 @@
         m.incarnation = atIncarnation;
         m.since = now;
         m.confirmed.clear();
+        if (standing == Standing.ALIVE) {
+            waiting.remove(m.name);
+        } else {
+            waiting.put(m.name, m);
+        }
         if (before != standing) {
             changed.accept(m.name, standing);
         }
@@ -184,8 +199,23 @@
         rumours.say(m.name, of(m));
     }
 
+    /** One that is not on the roster any more. */
+    void remove(String name) {
+        Member m = members.get(name);
+        if (m != null) {
+            there -= m.there() ? 1 : 0;
+            forget(m);
+        }
+    }
+
     private void forget(Member m) {
         members.remove(m.name);
+        waiting.remove(m.name);
+        Member last = list.remove(list.size() - 1);
+        if (last != m) {
+            list.set(m.at, last);
+            last.at = m.at;
+        }
         rumours.forget(m.name);
     }
 }
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/gossip/trial/Fleet.java
@@ -1,16 +1,17 @@
 package elderseam.gossip.trial;
 
+import elderseam.gossip.Agent;
 import elderseam.gossip.Ceiling;
-import elderseam.gossip.Membership;
-import elderseam.gossip.Message;
-import elderseam.gossip.Rumour;
+import elderseam.gossip.Codec;
+import elderseam.gossip.Packet;
 import elderseam.gossip.Standing;
 import elderseam.gossip.Tempo;
+import elderseam.gossip.Trust;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -20,14 +21,38 @@
  */
 public final class Fleet {
     private static final long MS = 1_000_000;
-    private static final int DATAGRAM = 1_400, HEAD = 110;   // bytes: a datagram's most; its signature, key, session, number
+    private static final int HEAD = 110;   // bytes of an envelope with a short name: seal, key, token, number, clock
+    private static final long LOOK_NS = 250 * MS;
 
-    private record Event(long at, long number, Runnable what) implements Comparable<Event> {
+    /** What a node's dispatcher tells of its breakers, and is told of others'. */
+    interface Dispatching {
+        List<Agent.Own> own();
+
+        void advise(long destination, Agent.Word word);
+    }
+
+    /** Keys that cost nothing; that nobody here forges is the network's doing. */
+    private static final Trust TRUST = new Trust() {
         @Override
-        public int compareTo(Event o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(number, o.number);
+        public int key() {
+            return 1;
         }
-    }
+
+        @Override
+        public byte[] seal(byte[] bytes) {
+            return new byte[64];
+        }
+
+        @Override
+        public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
+            return true;
+        }
+
+        @Override
+        public boolean mayBeAt(String name, String address) {
+            return name.equals(address);
+        }
+    };
 
     /** A change that one member saw of another. */
     public record Change(long at, String by, String of, Standing standing) {}
@@ -36,8 +61,8 @@
         final String name;
         final int side;
         final long clockOff;
-        Membership membership;
-        Ceiling ceiling;
+        Agent agent;
+        Dispatching dispatching;
         long tickAt = Long.MAX_VALUE, lives, held, bytes, datagrams;
         boolean up, hung;
         final List<Runnable> whileHung = new ArrayList<>();
@@ -49,21 +74,29 @@
         }
 
         long now() {
-            return time + clockOff;
+            return time.now() + clockOff;
+        }
+
+        long wallMs() {
+            return now() / MS;
         }
     }
 
     private final Tempo tempo;
     private final double loss, repeat;
     private final SplittableRandom seeds, network;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final VirtualTime time;
     private final Map<String, Node> nodes = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
-    private long time, numbers;
     private boolean parted;
 
     /** {@code loss}: share of datagrams that are lost; {@code repeat}: share that come twice. */
     public Fleet(int instances, Tempo tempo, double loss, double repeat, long seed) {
+        this(new VirtualTime(), instances, tempo, loss, repeat, seed);
+    }
+
+    Fleet(VirtualTime time, int instances, Tempo tempo, double loss, double repeat, long seed) {
+        this.time = time;
         this.tempo = tempo;
         this.loss = loss;
         this.repeat = repeat;
@@ -80,14 +113,30 @@
         n.up = true;
         n.hung = false;
         n.lives++;
-        n.ceiling = new Ceiling(64 << 10, 100, n.now());
         String by = n.name;
-        n.membership = new Membership(n.name, n.name, List.of("n0000", "n0001"), incarnation, tempo, n.now(), seeds.split(),
-                (of, standing) -> changes.add(new Change(time, by, of, standing)));
+        n.agent = new Agent(n.name, n.name, List.of("n0000", "n0001"), incarnation, tempo, new Ceiling(64 << 10, 100, n.now()), TRUST,
+                n.now(), seeds.split(), (of, standing) -> changes.add(new Change(time.now(), by, of, standing)));
         n.tickAt = Long.MAX_VALUE;
         flush(n);
     }
 
+    /** Ties a node to a dispatcher, whose breakers it looks at four times a second. */
+    void tie(String name, Dispatching dispatching) {
+        Node n = nodes.get(name);
+        n.dispatching = dispatching;
+        look(n, time.now() + (long) (LOOK_NS * network.nextDouble()));
+    }
+
+    private void look(Node n, long at) {
+        time.at(at, () -> {
+            if (n.up && !n.hung) {
+                n.agent.look(n.dispatching.own(), n.dispatching::advise, n.now(), n.wallMs());
+                flush(n);
+            }
+            look(n, at + LOOK_NS);
+        });
+    }
+
     // ---------------------------------------------------------------- what a test does to it
 
     /** Ends a member's process without a word. */
@@ -116,7 +165,7 @@
 
     public void leave(String name) {
         Node n = nodes.get(name);
-        n.membership.leave();
+        n.agent.leave();
         flush(n);
         n.up = false;
     }
@@ -128,19 +177,13 @@
 
     /** Lets so much time pass. */
     public void pass(long ns) {
-        long end = time + ns;
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event e = events.poll();
-            time = e.at;
-            e.what.run();
-        }
-        time = end;
+        time.pass(ns);
     }
 
     // ---------------------------------------------------------------- what is seen
 
     public long now() {
-        return time;
+        return time.now();
     }
 
     /** The changes seen so far, oldest first. */
@@ -150,21 +193,21 @@
 
     /** What one member holds of another, or null. */
     public Standing standing(String by, String of) {
-        return nodes.get(by).membership.standing(of);
+        return nodes.get(by).agent.membership().standing(of);
     }
 
     /** Whether each one that is up holds all others that are up for present, and nobody else. */
     public boolean agreed() {
         List<Node> up = nodes.values().stream().filter(n -> n.up).toList();
-        return up.stream().allMatch(n -> n.membership.present() == up.size());
+        return up.stream().allMatch(n -> n.agent.membership().present() == up.size());
     }
 
     /** The first at which an {@link #agreed} fleet was seen within that time, looking every 100 ms; -1: never. */
     public long untilAgreed(long within) {
-        long from = time;
-        while (time - from <= within) {
+        long from = time.now();
+        while (time.now() - from <= within) {
             if (agreed()) {
-                return time - from;
+                return time.now() - from;
             }
             pass(100 * MS);
         }
@@ -183,10 +226,6 @@
 
     // ---------------------------------------------------------------- the network
 
-    private void at(long when, Runnable what) {
-        events.add(new Event(when, numbers++, what));
-    }
-
     /** Runs when the member runs; never for a life that is over. */
     private void on(Node n, long life, Runnable what) {
         if (n.up && n.lives == life) {
@@ -200,31 +239,23 @@
     }
 
     private void flush(Node n) {
-        for (Message.Sent s : n.membership.sent()) {
-            int most = Math.min(DATAGRAM, n.ceiling.room(n.now())) - HEAD;
-            List<Rumour> along = new ArrayList<>(s.first());
-            if (most > 0) {
-                along.addAll(n.membership.along(most - 32 * along.size()));
-            }
-            int size = HEAD + along.stream().mapToInt(Rumour::bytes).sum();
-            if (n.ceiling.take(size, n.now())) {
-                n.bytes += size;
-                n.datagrams++;
-                carry(n, nodes.get(s.to()), s.message(), along);
-            }
+        for (Agent.Outgoing o : n.agent.sent(n.now())) {
+            n.bytes += HEAD + o.bytes().length;
+            n.datagrams++;
+            carry(n, nodes.get(o.address()), o.bytes());
         }
-        for (String with : n.membership.syncs()) {
+        for (String with : n.agent.syncs()) {
             exchange(n, nodes.get(with));
         }
-        long next = n.membership.nextAt();
+        long next = n.agent.nextAt();
         if (next < Long.MAX_VALUE && (next < n.tickAt || n.tickAt < n.now())) {
             n.tickAt = next;
             long life = n.lives;
-            at(Math.max(time, next - n.clockOff), () -> on(n, life, () -> {
+            time.at(next - n.clockOff, () -> on(n, life, () -> {
                 if (n.tickAt == next) {
                     n.tickAt = Long.MAX_VALUE;
                 }
-                n.membership.tick(n.now());
+                n.agent.tick(n.now());
             }));
         }
     }
@@ -237,16 +268,15 @@
         return (long) (MS * (0.5 + 4 * network.nextDouble() * network.nextDouble()));   // now and then one overtakes another
     }
 
-    private void carry(Node from, Node to, Message message, List<Rumour> along) {
+    private void carry(Node from, Node to, byte[] bytes) {
+        long wall = from.wallMs();
         int copies = network.nextDouble() < repeat ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             boolean lost = network.nextDouble() < loss;
-            long at = time + delay();
+            long at = time.now() + delay();
             if (!lost && to != null && !apart(from, to)) {
-                at(at, () -> on(to, to.lives, () -> {
-                    along.forEach(r -> to.membership.hear(r, to.now()));
-                    to.membership.receive(from.name, message, to.now());
-                }));
+                time.at(at, () -> on(to, to.lives, () ->
+                        to.agent.receive(from.name, Codec.decode(ByteBuffer.wrap(bytes)), to.now(), to.wallMs(), wall)));
             }
         }
     }
@@ -256,14 +286,23 @@
         if (b == null || b == a || !b.up || b.hung || apart(a, b)) {
             return;
         }
-        List<Rumour> states = a.membership.state();
-        a.bytes += states.size() * 32L;
-        long lifeA = a.lives;
-        at(time + delay(), () -> on(b, b.lives, () -> {
-            b.membership.merge(states, b.now());
-            List<Rumour> back = b.membership.state();
-            b.bytes += back.size() * 32L;
-            at(time + delay(), () -> on(a, lifeA, () -> a.membership.merge(back, a.now())));
+        Packet states = a.agent.state(false, a.now());
+        a.bytes += whole(states);
+        long lifeA = a.lives, wall = a.wallMs();
+        time.at(time.now() + delay(), () -> on(b, b.lives, () -> {
+            Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
+            b.bytes += whole(back);
+            long backWall = b.wallMs();
+            time.at(time.now() + delay(), () -> on(a, lifeA, () -> a.agent.receive(b.name, back, a.now(), a.wallMs(), backWall)));
         }));
     }
+
+    private static long whole(Packet p) {
+        return HEAD + p.rumours().stream().mapToInt(r -> r.bytes()).sum() + p.claims().stream().mapToInt(c -> c.bytes()).sum();
+    }
+
+    /** A node's agent, for those who look. */
+    Agent agent(String name) {
+        return nodes.get(name).agent;
+    }
 }
--- a/src/main/java/elderseam/http/Io.java
+++ b/src/main/java/elderseam/http/Io.java
@@ -60,6 +60,15 @@
         this.away = away;
     }
 
+    /** The worker, for sockets of other kinds than HTTP's; its one I/O thread is {@link #thread()}. */
+    public XnioWorker worker() {
+        return worker;
+    }
+
+    public XnioIoThread thread() {
+        return thread;
+    }
+
     /** Runs a task on the I/O thread now or soon. */
     public void run(Runnable task) {
         thread.execute(() -> inTime(task));
--- /dev/null
+++ b/src/main/java/elderseam/http/Lean.java
@@ -0,0 +1,31 @@
+package elderseam.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** What XNIO does of its own accord at a start, and nobody here reads. */
+public final class Lean {
+    /** Held, since a logger that nobody holds forgets its level. */
+    private static final List<Logger> QUIET = new ArrayList<>();
+
+    private Lean() {}
+
+    /**
+     * To be called before the first {@link Io}. XNIO registers MBeans, for which the JVM's whole management starts (a fifth of
+     * the CPU of a start, and 7 MB), and greets with its version. An operator who asks for JMX on the command line has it still:
+     * that starts before.
+     */
+    public static void start() {
+        if (System.getProperty("javax.management.builder.initial") == null
+                && System.getProperty("com.sun.management.jmxremote") == null) {
+            System.setProperty("javax.management.builder.initial", "none");
+        }
+        for (String name : List.of("org.xnio", "org.jboss.threads", "io.undertow")) {
+            Logger logger = Logger.getLogger(name);
+            logger.setLevel(Level.WARNING);
+            QUIET.add(logger);
+        }
+    }
+}
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -113,6 +113,30 @@
             this.kind = kind;
             this.bareFrom = now;
         }
+
+        /** Open where all of its circuits are, closed where one is: what a call meets. */
+        Sender.Breaker breaker(long now) {
+            int calls = 0, failed = 0, closed = 0, open = 0;
+            long wait = 0;
+            for (Brain.Circuit c : circuits) {
+                int[] seen = c.window.seen(now);   // without moving it: who looks must change nothing
+                calls += seen[0];
+                failed += seen[1];
+                wait = Math.max(wait, c.waitUntil - now);
+                closed += c.state == Brain.State.CLOSED ? 1 : 0;
+                open += c.state == Brain.State.OPEN && now < c.openUntil ? 1 : 0;
+            }
+            return new Sender.Breaker(closed > 0 || circuits.isEmpty() ? Sender.Standing.CLOSED
+                    : open == circuits.size() ? Sender.Standing.OPEN : Sender.Standing.HALF_OPEN, calls, failed, wait);
+        }
+
+        Destination advised(double doubt, double trying) {
+            for (Brain.Circuit c : circuits) {
+                c.doubt = doubt;
+                c.trying = trying;
+            }
+            return this;
+        }
     }
 
     /** Counts of calls and failures over the newest buckets of time. */
@@ -153,6 +177,17 @@
             allFailed += failure ? 1 : 0;
         }
 
+        /** Calls and failures that will be left once it has moved to {@code now}. */
+        int[] seen(long now) {
+            int[] sum = new int[2];
+            for (long b = Math.floorDiv(now, bucketNs) - calls.length + 1; b <= at; b++) {
+                int i = (int) Math.floorMod(b, (long) calls.length);
+                sum[0] += calls[i];
+                sum[1] += failed[i];
+            }
+            return sum;
+        }
+
         void clear() {
             java.util.Arrays.fill(calls, 0);
             java.util.Arrays.fill(failed, 0);
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import elderseam.module.Books.Call;
 import elderseam.module.Books.Destination;
 import elderseam.module.Books.Held;
@@ -28,7 +29,8 @@
     // --- breaker (the design's own figures)
     private static final long BUCKET_NS = 1_000_000_000L;     // one bucket of outcomes
     private static final int BUCKETS = 10;                    // buckets that count towards a trip
-    private static final int FLOOR = 20;                      // calls below which the share is not judged
+    private static final int FLOOR = 20;                      // calls below which the share is not judged,
+    private static final int OFF = 12;                        // so many of them less at full doubt
     private static final double TRIP_SHARE = 0.5;             // failures among calls that trip
     private static final long SLEEP_NS = 2_000_000_000L;      // sleeping window before the first trial
     private static final double LENGTHEN = 2;                 // times the outage so far that is added
@@ -75,7 +77,7 @@
     // --- worth
     private static final double LATER = 0.9;                  // weight of the worth one aim later
 
-    private enum State { CLOSED, OPEN, HALF_OPEN }
+    enum State { CLOSED, OPEN, HALF_OPEN }
 
     /** Breaker, tickets and pace of one destination or route. */
     final class Circuit {
@@ -92,6 +94,7 @@
         double cutWeight;                           // the former when the pace was last cut
         double pace = Double.POSITIVE_INFINITY, level = 1, sick;
         long refilled, pauseUntil, pause, lastCut, lastFull, lastBad, rampFrom;
+        double doubt, trying;                       // laid on it by others: 0 to 1; how many will try it
         boolean ramping, idle, told, room;          // told: its limit comes with its answers; room: much left
         long answered;                              // calls delivered so far
 
@@ -129,7 +132,7 @@
          * Covers returns after any outage; costs a later return to work, by twice the outage at the most.
          */
         long sleepNs(long now) {
-            double longer = Math.min(SLEEP_NS + LENGTHEN * (now - downFrom), SLEEP_NS * crowd());
+            double longer = Math.min(SLEEP_NS + LENGTHEN * (now - downFrom), SLEEP_NS * crowd(trying));
             return (long) (longer * (0.75 + 0.5 * random.nextDouble()));
         }
 
@@ -272,9 +275,9 @@
                     trip(now, "trial " + o.result());
                 }
             } else if (state == State.CLOSED) {
-                if (window.calls() >= FLOOR && window.failed() >= TRIP_SHARE * window.calls()) {
+                if (window.calls() >= FLOOR - OFF * doubt && window.failed() >= TRIP_SHARE * window.calls()) {
                     trip(now, window.failed() + " of " + window.calls() + " failed");
-                } else if (run >= RUN) {
+                } else if (run >= RUN - (int) Math.round(2 * doubt)) {
                     trip(now, run + " failures in a row, last " + o.result());
                 }
             }
@@ -361,10 +364,14 @@
 
         /** How many times more senders there are than a cold destination stands in a sleeping window. */
         double crowd() {
+            return crowd(0);
+        }
+
+        double crowd(double trying) {
             double warm = settings.rates() == Sender.Rates.EXACT && weight > 0 ? weight
                     : Math.max(weight > 0 ? weight / ROUGH : UNTOLD, norm * settings.senders());
             double stands = settings.coldShare() * settings.fallMultiple() * warm * SLEEP_NS / 1e9;
-            return Math.max(1, settings.senders() / stands);
+            return Math.max(1, Math.max(settings.senders(), trying) / stands);
         }
 
         private void backOff(long waitNs, long now) {
@@ -410,17 +417,13 @@
     private final List<Held> candidates = new ArrayList<>();
     private final List<Target> used = new ArrayList<>();            // calls there ended in this turn
     private final long[] keepNs, keepUntil;                         // by kind: idle connections, until when
-    private long tenantRefilled;
-    private int live, callsOut;
+    private long tenantRefilled, subscribeAt;
+    private int live, callsOut, subscribeFailures;
     private long turn, seq, measuredAt = Long.MIN_VALUE / 2;
     private double fleetUsual, slowdown = 1;
-    private long clock = Long.MIN_VALUE;
+    private long clock = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, closesAt = Long.MAX_VALUE;
     private long due;                                               // next time something may change
-    private long timerAt = Long.MAX_VALUE;
     private boolean subscribed, lossy;
-    private long closesAt = Long.MAX_VALUE;
-    private int subscribeFailures;
-    private long subscribeAt;
 
     public Brain(Sender.Settings settings, long seed, Sender.Actions actions) {
         this.settings = settings;
@@ -662,6 +665,16 @@
         return t != null && t.ready && now >= t.circuit.waitUntil;
     }
 
+    @Override
+    public void breakers(long now, BiConsumer<Long, Sender.Breaker> each) {
+        targets.values().stream().map(t -> t.dest).distinct().forEach(d -> each.accept(d.id, d.breaker(now)));
+    }
+
+    @Override
+    public void advised(long now, long id, double doubt, double trying) {
+        destinations.computeIfPresent(id, (i, d) -> d.advised(doubt, trying));
+    }
+
     private void ranMaybe(Held m, Call call) {
         if (!m.maybeRan) {
             m.maybeRan = true;
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -1,6 +1,7 @@
 package elderseam.module;
 
 import java.util.List;
+import java.util.function.BiConsumer;
 
 /**
  * The interface of the decision module: what a host tells it ({@link Events}) and what it asks of the host
@@ -124,6 +125,12 @@
         public static final Report NONE = new Report(0, 0);
     }
 
+    /** What a breaker does: it lends, it tries, it sleeps. */
+    enum Standing { CLOSED, HALF_OPEN, OPEN }
+
+    /** A destination as its breaker has it: {@code calls} of the last 10 s, {@code failed} of them, what is left of a told wait. */
+    record Breaker(Standing standing, int calls, int failed, long waitNs) {}
+
     /** How one attempt ended. {@code waitNs}: the told wait, 0 if none. {@code noSlot}: with NOT_SENT, no
      *  slot was free. {@code over}: the message is finished, by this outcome or earlier; else an answer
      *  is owed. */
@@ -162,6 +169,16 @@
         /** Whether a call there, decided earlier, may begin now: it is listed as ready and no told wait lasts. */
         boolean mayCall(long now, String endpoint);
 
+        /** How every destination that is listed stands now. */
+        void breakers(long now, BiConsumer<Long, Breaker> each);
+
+        /**
+         * What others say of a destination, until told otherwise. {@code doubt}, 0 to 1: how much less own evidence trips its
+         * breaker; alone it trips nothing. {@code trying}: how many senders will try it about when it returns; a sleeping
+         * window lengthens with them as it does with the number of senders, and is never shorter for it.
+         */
+        void advised(long now, long destination, double doubt, double trying);
+
         /** The client has withdrawn the message: no answer is owed any more. */
         void withdrawn(long now, String id);
 
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -21,8 +21,23 @@
     public static final Key<String> ACME_FOLDER = Key.text("acme", "folder", "a path", PATH, "certificates", false);
     public static final Key<String> ACME_CHALLENGES = Key.listen("acme", "challenges");
 
+    public static final Key<String> GOSSIP_LISTEN = Key.listen("gossip", "listen");
+    public static final Key<String> GOSSIP_ADVERTISE = Key.text("gossip", "advertise", "ADDRESS:PORT that others reach, empty for the one listened on",
+            "([0-9.]+|\\[[0-9a-fA-F:.]+]):\\d{1,5}", "", false);
+    public static final Key<String> GOSSIP_NAME = Key.text("gossip", "name", "1 to 64 of A-Z a-z 0-9 . _ -", NAME, "", false);
+    public static final Key<String> GOSSIP_KEY_FILE = Key.text("gossip", "key_file", "a path", PATH, "", false);
+    public static final Key<String> GOSSIP_ROSTER = Key.text("gossip", "roster", "a path", PATH, "", true);
+    public static final Key<List<String>> GOSSIP_SEEDS = Key.words("gossip", "seeds", "ADDRESS:PORT apart by spaces, at most 16",
+            "([0-9.]+|\\[[0-9a-fA-F:.]+]):\\d{1,5}", false);
+    public static final Key<Long> GOSSIP_BYTES = Key.whole("gossip", "most_bytes_per_s", "bytes a second", 2_000, 10_000_000, 65_536, true);
+    public static final Key<Long> GOSSIP_DATAGRAMS = Key.whole("gossip", "most_datagrams_per_s", "datagrams a second", 10, 10_000, 100, true);
+    public static final Key<String> GOSSIP_WEIGH = Key.text("gossip", "weigh", "on, or off: what others say is heard and passed on, and weighs nothing",
+            "on|off", "on", true);
+
     public static final List<Key<?>> ALL = List.of(EVENTS_LISTEN, EVENTS_REMEMBER_S, EVENTS_WEBHOOK_ORIGINS, EVENTS_WEBHOOK_RATE,
-            ACME_DIRECTORY, ACME_NAMES, ACME_FOLDER, ACME_CHALLENGES);
+            ACME_DIRECTORY, ACME_NAMES, ACME_FOLDER, ACME_CHALLENGES,
+            GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
+            GOSSIP_WEIGH);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
             new Contradiction(ACME_DIRECTORY, "is set while events.listen is off, allowed: with a front that serves",
@@ -32,7 +47,22 @@
             new Contradiction(ACME_CHALLENGES, "is off, allowed: ADDRESS:PORT with acme.directory",
                     s -> !s.get(ACME_DIRECTORY).isEmpty() && s.get(ACME_CHALLENGES).equals("off")),
             new Contradiction(EVENTS_WEBHOOK_RATE, "is set without events.webhook_origins, allowed: with a sender that may ask",
-                    s -> s.get(EVENTS_WEBHOOK_RATE) > 0 && s.get(EVENTS_WEBHOOK_ORIGINS).isEmpty()));
+                    s -> s.get(EVENTS_WEBHOOK_RATE) > 0 && s.get(EVENTS_WEBHOOK_ORIGINS).isEmpty()),
+            new Contradiction(GOSSIP_NAME, "is empty, allowed: a name of the roster with gossip.listen",
+                    s -> gossips(s) && s.get(GOSSIP_NAME).isEmpty()),
+            new Contradiction(GOSSIP_KEY_FILE, "is empty, allowed: a key file with gossip.listen",
+                    s -> gossips(s) && s.get(GOSSIP_KEY_FILE).isEmpty()),
+            new Contradiction(GOSSIP_ROSTER, "is empty, allowed: a roster with gossip.listen",
+                    s -> gossips(s) && s.get(GOSSIP_ROSTER).isEmpty()),
+            new Contradiction(GOSSIP_ADVERTISE, "is empty while gossip.listen names every address, allowed: ADDRESS:PORT",
+                    s -> gossips(s) && s.get(GOSSIP_ADVERTISE).isEmpty() && s.get(GOSSIP_LISTEN).matches("0\\.0\\.0\\.0:.*|\\[[0:]+]:.*")),
+            new Contradiction(GOSSIP_LISTEN, "names a host, allowed: a numeric address, which needs no look-up",
+                    s -> gossips(s) && !s.get(GOSSIP_LISTEN).matches("[0-9.]+:\\d+|\\[.*]:\\d+")),
+            new Contradiction(GOSSIP_SEEDS, "are more than 16, allowed: at most 16", s -> s.get(GOSSIP_SEEDS).size() > 16));
+
+    private static boolean gossips(Settings s) {
+        return !s.get(GOSSIP_LISTEN).equals("off");
+    }
 
     private Keys() {}
 }
--- a/src/main/java/elderseam/settings/SettingsFault.java
+++ b/src/main/java/elderseam/settings/SettingsFault.java
@@ -8,7 +8,7 @@
     private static final long serialVersionUID = 1;
     private final transient List<String> faults;
 
-    SettingsFault(List<String> faults) {
+    public SettingsFault(List<String> faults) {
         super(String.join("\n", faults));
         this.faults = List.copyOf(faults);
     }
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -34,7 +34,8 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"", "nonsense", "serve --nonsense", "serve a b", "config", "config check", "config check a b",
-        "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more"})
+        "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more", "keys", "keys new", "keys new f --name", "keys list", "gossip", "gossip trial --instances 2",
+        "gossip trial --liars 9", "gossip watch"})
     void aUsageFaultExitsWith2(String words) throws Exception {
         Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
         assertEquals(2, e.code, e.err);
@@ -44,7 +45,8 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"--help", "serve --help", "simhost --help", "authority --help", "train --help", "config --help",
-        "config check --help", "config show --help"})
+        "config check --help", "config show --help", "keys --help", "keys new --help", "keys list --help", "gossip --help",
+        "gossip trial --help", "gossip watch --help"})
     void helpIsEverywhere(String words) throws Exception {
         Ended e = run(words.split(" "));
         assertEquals(0, e.code, e.err);
--- /dev/null
+++ b/src/test/java/elderseam/gossip/AgentTest.java
@@ -0,0 +1,251 @@
+package elderseam.gossip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** One instance and what others, honest or not, tell it. */
+class AgentTest {
+    private static final long S = 1_000_000_000L;
+
+    /** Seals that name their maker: a forger can't make another's. */
+    private record Seals(String self) implements Trust {
+        @Override
+        public int key() {
+            return self.hashCode();
+        }
+
+        @Override
+        public byte[] seal(byte[] bytes) {
+            byte[] seal = new byte[64];
+            seal[0] = (byte) self.charAt(0);
+            seal[1] = (byte) Arrays.hashCode(bytes);
+            return seal;
+        }
+
+        @Override
+        public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
+            return key == name.hashCode() && seal[0] == (byte) name.charAt(0) && seal[1] == (byte) Arrays.hashCode(bytes);
+        }
+
+        @Override
+        public boolean mayBeAt(String name, String address) {
+            return address.equals(name + ":1");
+        }
+    }
+
+    private long now = 100 * S;
+    private long wall = 1_000_000;
+    private final Ceiling ceiling = new Ceiling(64 << 10, 100, now);
+    private final Agent agent = new Agent("a", "a:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("a"), now, new SplittableRandom(1), (n, s) -> { });
+    private final Map<Long, Agent.Word> words = new HashMap<>();
+    private final Map<String, Long> numbers = new HashMap<>();
+
+    private static Claim open(String reporter, long number, long destination) {
+        return new Claim(reporter, 1, number, destination, Claim.State.OPEN, 0, 20, 20, 10_000);
+    }
+
+    private Signed signed(Claim c, String by, long at) {
+        Seals s = new Seals(by);
+        return new Signed(c, at, c.reporter().hashCode(), s.seal(Codec.sealed(c, at, c.reporter().hashCode())));
+    }
+
+    private void tell(String from, Signed... claims) {
+        agent.receive(from, new Packet(new Message.News(), List.of(), List.of(claims)), now, wall, wall);
+    }
+
+    private void says(String reporter, long destination, Claim.State state) {
+        Claim c = new Claim(reporter, 1, numbers.merge(reporter, 1L, Long::sum), destination, state, 0, 20, 20, 10_000);
+        tell(reporter, signed(c, reporter, wall));
+    }
+
+    private void look(Agent.Own... own) {
+        agent.look(List.of(own), words::put, now, wall);
+    }
+
+    private void pass(long s) {
+        now += s * S;
+        wall += s * 1_000;
+    }
+
+    private double doubt(long destination) {
+        return words.getOrDefault(destination, new Agent.Word(-1, -1)).doubt();
+    }
+
+    @Test
+    void oneReporterIsWorthLessThanTheLeastEffect() {
+        says("b", 1, Claim.State.OPEN);
+        look();
+        assertEquals(0, doubt(1));
+        says("c", 1, Claim.State.OPEN);
+        look();
+        assertTrue(doubt(1) > 0 && doubt(1) < 0.25, "two: " + doubt(1));
+        for (String r : List.of("d", "e", "f")) {
+            says(r, 1, Claim.State.OPEN);
+        }
+        look();
+        assertEquals(1, doubt(1), 1e-9);
+        pass(11);
+        look();
+        assertEquals(0, doubt(1), "expired, and told so once");
+        words.clear();
+        look();
+        assertEquals(Map.of(), words);
+    }
+
+    /** A majority that lies for ever of a bank that answers this instance well: no doubt at all, and each lie costs its teller. */
+    @Test
+    void aLyingMajorityIsContradictedByOwnCalls() {
+        for (int i = 0; i < 6; i++) {
+            for (String r : List.of("b", "c", "d", "e")) {
+                says(r, 1, Claim.State.OPEN);
+            }
+            look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 1));
+            assertEquals(0, doubt(1));
+            pass(3);
+        }
+        assertTrue(agent.worth("b", now) < 0.1, "worth " + agent.worth("b", now));
+        for (String r : List.of("b", "c", "d", "e")) {
+            says(r, 2, Claim.State.OPEN);
+        }
+        look();
+        assertEquals(0, doubt(2), "of a destination without own calls they are not believed any more");
+        pass(3_600);
+        assertTrue(agent.worth("b", now) > 0.9, "an hour later");
+    }
+
+    /** One that flaps costs itself its worth just so, and never reaches the least effect. */
+    @Test
+    void aFlappingLiarMovesNothing() {
+        for (int i = 0; i < 40; i++) {
+            says("b", 1, i % 2 == 0 ? Claim.State.OPEN : Claim.State.CLOSED);
+            look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0));
+            assertEquals(0, doubt(1));
+            pass(1);
+        }
+        assertTrue(agent.worth("b", now) < 0.05);
+    }
+
+    /** A claim that its reporter did not seal, or whose seal is over something else, is passed over and counted. */
+    @Test
+    void aForgedClaimIsNone() {
+        tell("b", signed(open("c", 1, 1), "b", wall));
+        Signed true1 = signed(open("c", 2, 1), "c", wall);
+        tell("b", new Signed(open("c", 3, 1), wall, true1.key(), true1.seal()));
+        assertEquals(2, agent.dropped(Agent.Drop.FORGED_CLAIM));
+        assertEquals(0, agent.claims().size());
+        tell("b", true1);
+        assertEquals(1, agent.claims().size());
+    }
+
+    /** Held back for a minute and then told: too old, though its reporter's clock is two minutes off. */
+    @Test
+    void aClaimThatWasHeldBackIsTooOld() {
+        long theirs = wall + 120_000;
+        Signed s = signed(open("c", 1, 1), "c", theirs), fresh = signed(open("c", 2, 1), "c", theirs + 60_000);
+        agent.receive("c", new Packet(new Message.News(), List.of(), List.of()), now, wall, theirs);
+        pass(60);
+        tell("b", s);
+        assertEquals(1, agent.dropped(Agent.Drop.STALE_CLAIM));
+        tell("b", fresh);
+        assertEquals(1, agent.claims().size());
+    }
+
+    /** One sender makes this instance check 40 seals a second at most, whatever it tells. */
+    @Test
+    void checksHaveARate() {
+        for (int i = 0; i < 200; i++) {
+            tell("b", signed(open("c", i + 1, i), "b", wall));
+        }
+        assertTrue(agent.dropped(Agent.Drop.FORGED_CLAIM) <= 40 && agent.dropped(Agent.Drop.CLAIMS_OVER_RATE) >= 160);
+        tell("d", signed(open("d", 1, 1), "d", wall));
+        assertEquals(1, agent.claims().size(), "another sender has a budget of its own");
+    }
+
+    /** A member that may not be where a rumour puts it is not taken on; nor one that is not on the roster. */
+    @Test
+    void aRumourOfAnAddressThatIsNotItsOwn() {
+        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("c", "d:1", Standing.ALIVE, 1, "c"),
+                new Rumour("d", "d:1", Standing.ALIVE, 1, "d")), List.of()), now, wall, wall);
+        assertEquals(2, agent.dropped(Agent.Drop.STRANGER) + agent.membership().seen().size());
+        assertEquals("d", agent.membership().seen().get(0).member());
+    }
+
+    /** Above the ceiling nothing leaves; while it binds, the newest and most confirmed claims are the ones that do. */
+    @Test
+    void theCeilingLetsTheMostConfirmedGoFirst() {
+        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()), now, wall, wall);
+        for (int d = 1; d <= 30; d++) {
+            says("b", d, Claim.State.OPEN);
+        }
+        for (String r : List.of("c", "d", "e")) {
+            says(r, 7, Claim.State.OPEN);
+        }
+        agent.sent(now);
+        ceiling.set(1_000, 2, now);
+        List<Long> said = new ArrayList<>();
+        int bytes = 0;
+        for (int i = 0; i < 10; i++) {
+            now += S / 5;
+            wall += 200;
+            agent.tick(now);
+            for (Agent.Outgoing o : agent.sent(now)) {
+                bytes += o.bytes().length + 160;
+                Codec.decode(java.nio.ByteBuffer.wrap(o.bytes())).claims().forEach(s -> said.add(s.claim().destination()));
+            }
+        }
+        assertTrue(bytes <= 1_000 + 2 * 1_000, bytes + " bytes in two seconds");
+        assertTrue(agent.dropped(Agent.Drop.CEILING) > 0);
+        assertEquals(7L, said.get(0), said::toString);
+        assertTrue(said.indexOf(30L) >= 0 && said.indexOf(1L) < 0, "the newest before the oldest: " + said);
+    }
+
+    /** Own breakers: what is news is said at once, what lasts is said again before it expires, what never opened not at all. */
+    @Test
+    void ownClaims() {
+        look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 500, 4, 4));
+        assertEquals(List.of(2L), agent.claims().stream().map(Claim::destination).toList());
+        long first = agent.claims().get(0).number();
+        pass(1);
+        look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 0, 4, 4));
+        assertEquals(first, agent.claims().get(0).number());
+        pass(2);
+        look(new Agent.Own(2, Claim.State.OPEN, 0, 4, 4));
+        assertEquals(first + 1, agent.claims().get(0).number());
+        look(new Agent.Own(2, Claim.State.CLOSED, 0, 1, 0));
+        assertEquals(Claim.State.CLOSED, agent.claims().get(0).state());
+        List<Agent.Own> many = new ArrayList<>();
+        for (long d = 1; d <= 1_000; d++) {
+            many.add(new Agent.Own(d, Claim.State.OPEN, 0, 4, 4));
+        }
+        for (int i = 0; i < 120; i++) {
+            pass(1);
+            agent.look(many, words::put, now, wall);
+        }
+        assertTrue(agent.claims().size() <= 256, agent.claims().size() + " held");
+    }
+
+    @Test
+    void whoIsOffTheRosterIsForgotten() {
+        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()), now, wall, wall);
+        for (String r : List.of("b", "c", "d", "e", "f")) {
+            says(r, 1, Claim.State.OPEN);
+        }
+        look();
+        assertEquals(1, doubt(1), 1e-9);
+        for (String r : List.of("b", "c", "d", "e", "f")) {
+            agent.remove(r);
+        }
+        look();
+        assertEquals(0, doubt(1));
+        assertEquals(1, agent.membership().present());
+        assertEquals(List.of(), agent.state(false, now).claims());
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/scenario/GossipCost.java
@@ -0,0 +1,67 @@
+package elderseam.scenario;
+
+import elderseam.gossip.trust.KeyFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What gossip costs an idle dispatcher: CPU and memory of five processes for a minute, off and on. Run by {@code make figures}. */
+public final class GossipCost {
+    private static final int PROCESSES = 5, SECONDS = 60;
+
+    private GossipCost() {}
+
+    public static void main(String[] args) throws Exception {
+        for (boolean on : new boolean[] {false, true}) {
+            Path folder = Files.createTempDirectory("gossip-cost");
+            List<Scenario> all = new ArrayList<>();
+            List<String> roster = new ArrayList<>(), at = new ArrayList<>();
+            for (int i = 0; i < PROCESSES; i++) {
+                at.add(Wire.own().getHostAddress());
+                roster.add("n" + i + " " + at.get(i) + " " + KeyFile.make(folder.resolve("k" + i)).text());
+            }
+            Files.write(folder.resolve("roster"), roster);
+            try {
+                for (int i = 0; i < PROCESSES; i++) {
+                    Scenario s = new Scenario(Files.createDirectory(folder.resolve("n" + i)));
+                    all.add(s);
+                    s.withoutEvents();
+                    s.events(on ? "[gossip]\nlisten = " + at.get(i) + ":7946\nname = n" + i + "\nkey_file = " + folder.resolve("k" + i)
+                            + "\nroster = " + folder.resolve("roster") + "\nseeds = " + at.get(0) + ":7946\n" : "");
+                    s.start();
+                }
+                long before = ticks(all), start = System.nanoTime();
+                System.err.println("gossip " + (on ? "on" : "off") + ", " + SECONDS + " s ...");
+                Thread.sleep(SECONDS * 1_000L);
+                double share = (ticks(all) - before) / 100.0 / ((System.nanoTime() - start) / 1e9) / PROCESSES;
+                System.out.printf("gossip %-3s %6.2f%% of a core, %d kB resident each%n", on ? "on" : "off", share * 100, resident(all) / PROCESSES);
+            } finally {
+                for (Scenario s : all) {
+                    s.close();
+                }
+            }
+        }
+        System.exit(0);
+    }
+
+    /** CPU of all, in hundredths of a second. */
+    private static long ticks(List<Scenario> all) throws Exception {
+        long sum = 0;
+        for (Scenario s : all) {
+            String[] stat = Scenario.stat(s.pid()).split(" ");
+            sum += Long.parseLong(stat[11]) + Long.parseLong(stat[12]);
+        }
+        return sum;
+    }
+
+    private static long resident(List<Scenario> all) throws Exception {
+        long kb = 0;
+        for (Scenario s : all) {
+            for (String line : Files.readAllLines(Path.of("/proc/" + s.pid() + "/status"))) {
+                kb += line.startsWith("VmRSS:") ? Long.parseLong(line.replaceAll("\\D", "")) : 0;
+            }
+        }
+        return kb;
+    }
+}
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -42,6 +42,7 @@
  * move       platform: listens elsewhere, and no longer answers on what was opened before
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
+ * expect     relay: a line of its log, of this start and not passed over yet, holds these words
  * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
  *            reload (done), kept (the old configuration), exit CODE
  * </pre>
@@ -65,6 +66,7 @@
     private volatile int deaf;
     private Process program;
     private final Map<Character, CompletableFuture<String>> fronts = new ConcurrentHashMap<>();
+    private BlockingQueue<String> said = new LinkedBlockingQueue<>();
     private String events = "", listen = "127.0.0.1:0";
     private int nice;
     private String flag = "-Xshare:auto";
@@ -156,6 +158,14 @@
             signal("HUP");
             return;
         }
+        if (verb.equals("expect")) {
+            String line;
+            do {
+                line = said.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                assertNotNull(line, "the log does not say so");
+            } while (!line.contains(words));
+            return;
+        }
         if (verb.equals("pause") || verb.equals("resume")) {
             signal(verb.equals("pause") ? "STOP" : "CONT");
             while (verb.equals("pause") && !stat(program.pid()).startsWith("T")) {
@@ -182,7 +192,7 @@
     }
 
     /** The state of a process, and what follows it there. */
-    private static String stat(long pid) throws IOException {
+    static String stat(long pid) throws IOException {
         String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
         return stat.substring(stat.lastIndexOf(')') + 2);
     }
@@ -403,11 +413,14 @@
                 draining = new CompletableFuture<>(), reloaded = new CompletableFuture<>(), kept = new CompletableFuture<>();
         fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept));
         BufferedReader log = program.inputReader();
+        BlockingQueue<String> words = new LinkedBlockingQueue<>();
+        said = words;
         String[] at = new String[1];
         Thread reader = new Thread(() -> {
             try (Stream<String> lines = log.lines()) {
                 lines.forEach(line -> {
                     System.out.println("  | " + line);
+                    words.add(line);
                     if (line.startsWith("events on /")) {
                         eventing.complete(line.substring(11));
                     } else if (line.equals("draining")) {
@@ -441,6 +454,10 @@
                 + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + settings + "}");
     }
 
+    long pid() {
+        return program.pid();
+    }
+
     Path state() {
         return folder.resolve("state");
     }
--- a/src/test/java/elderseam/settings/SettingsTest.java
+++ b/src/test/java/elderseam/settings/SettingsTest.java
@@ -47,7 +47,7 @@
                 "s.ini:3: events.listen: '127.0.0.1' can't be used, allowed: off, or ADDRESS:PORT",
                 "s.ini:4: events.remember_s: '0' can't be used, allowed: 1 to 2592000 seconds",
                 "s.ini:7: events.colour: unknown key, allowed: listen, remember_s, webhook_origins, webhook_rate_per_minute",
-                "s.ini:9: gossipp.listen: unknown section, allowed: events, acme"),
+                "s.ini:9: gossipp.listen: unknown section, allowed: events, acme, gossip"),
                 faults("stray = 1\n[events]\nlisten = 127.0.0.1\nremember_s = 0\nno setting at all\nlisten = off\ncolour = red\n"
                         + "[gossipp]\nlisten = off\n"));
     }
@@ -62,6 +62,13 @@
         "[events];listen = 127.0.0.1:99999|s.ini:2: events.listen: '127.0.0.1:99999' can't be used",
         "[events];remember_s = 1e3|s.ini:2: events.remember_s: '1e3' can't be used",
         "[events];remember_s = 99999999999999999999|s.ini:2: events.remember_s",
+        "[gossip];listen = 127.0.0.1:1|s.ini: gossip.name: is empty",
+        "[gossip];listen = localhost:1;name = a;key_file = k;roster = r|s.ini:2: gossip.listen: names a host",
+        "[gossip];listen = 0.0.0.0:1;name = a;key_file = k;roster = r|s.ini: gossip.advertise: is empty while",
+        "[gossip];name = a b|s.ini:2: gossip.name: 'a b' can't be used",
+        "[gossip];most_bytes_per_s = 100|s.ini:2: gossip.most_bytes_per_s: '100' can't be used, allowed: 2000 to",
+        "[gossip];seeds = here|s.ini:2: gossip.seeds: 'here' can't be used",
+        "[gossip];weigh = yes|s.ini:2: gossip.weigh: 'yes' can't be used",
         "[events];[events]|s.ini:2: section events stands at line 1 already",
         "[ev ents]|s.ini:1: '[ev ents]' is no setting"})
     void whatCanNotStand(String lines, String fault) {
