--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,5 @@
 figures: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipFigures
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/Agent.java
@@ -30,7 +30,8 @@
     /** How this instance's own breaker for a destination stands. */
     public record Own(long destination, Claim.State state, int waitMs, int calls, int failures) {}
 
-    private static final int MOST_DESTINATIONS = 256, ENVELOPE = 160, STATE_CLAIMS = 256;
+    private static final int MOST_DESTINATIONS = 256, STATE_CLAIMS = 256;
+    private static final int MESSAGE = 1 + 8 + 1 + 64 + 2 + 2;   // bytes of a message with the longest name, and two counts
     private static final int WINDOW_MS = 10_000;
     private static final long MS = 1_000_000, AGAIN_NS = 3_000 * MS, STALE_MS = 12_000;
     private static final double CHECKS_PER_S = 40, ISSUES_PER_S = 20;
@@ -39,6 +40,7 @@
     private record Issued(Claim.State state, long at) {}
 
     private final String self;
+    private final int envelope;
     private final long incarnation;
     private final Trust trust;
     private final Membership membership;
@@ -61,11 +63,13 @@
     public Agent(String self, String address, List<String> seeds, long incarnation, Tempo tempo, Ceiling ceiling, Trust trust,
                  long now, SplittableRandom random, BiConsumer<String, Standing> changed) {
         this.self = self;
+        this.envelope = Packet.envelope(self);
         this.incarnation = incarnation;
         this.trust = trust;
         this.ceiling = ceiling;
         this.issues = new Bucket(ISSUES_PER_S, ISSUES_PER_S, now);
         this.membership = new Membership(self, address, seeds, incarnation, tempo, now, random, changed);
+        membership.tellsToo(() -> spread.subjects() > 0);
     }
 
     // ---------------------------------------------------------------- time
@@ -127,6 +131,11 @@
         spread.say(subject, s, confirmed);
     }
 
+    /** Another's members, as a full exchange tells them. */
+    void merge(List<Rumour> members, long now) {
+        membership.merge(members, now);
+    }
+
     // ---------------------------------------------------------------- claims, some times a second
 
     /**
@@ -181,7 +190,7 @@
         List<Outgoing> all = new ArrayList<>();
         for (Message.Sent s : membership.sent()) {
             String address = membership.address(s.to());
-            int room = Math.min(Packet.DATAGRAM, ceiling.room(now)) - ENVELOPE;
+            int room = Math.min(Packet.DATAGRAM, ceiling.room(now)) - envelope - MESSAGE;
             if (address == null) {
                 continue;
             }
@@ -194,7 +203,7 @@
                 said = spread.take(left, membership.transmits());
             }
             byte[] bytes = Codec.encode(new Packet(s.message(), rumours, said), Packet.DATAGRAM);
-            if (ceiling.take(bytes.length + ENVELOPE, now)) {
+            if (ceiling.take(bytes.length + envelope, now)) {
                 all.add(new Outgoing(s.to(), address, bytes));
             } else {
                 dropped[Drop.CEILING.ordinal()]++;
@@ -208,13 +217,15 @@
         return membership.syncs();
     }
 
-    /** The whole state, as a packet: every member, and the claims that count, newest first. */
+    /** The whole state, as a packet: every member, and the claims that count, newest first, as many as fit. */
     public Packet state(boolean answer, long now) {
+        int[] room = {Packet.STATE - envelope - MESSAGE};
+        List<Rumour> members = membership.state().stream().filter(r -> (room[0] -= r.bytes()) >= 0).toList();
         List<Signed> newest = sealed.values().stream().filter(s -> claims.counts(s.claim(), now)).sorted((a, b) -> {
             int byTime = Long.compare(b.wallMs(), a.wallMs());
             return byTime != 0 ? byTime : Claim.AGE.compare(b.claim(), a.claim());
-        }).limit(STATE_CLAIMS).toList();
-        return new Packet(new Message.State(answer), membership.state(), newest);
+        }).limit(STATE_CLAIMS).filter(s -> (room[0] -= s.bytes()) >= 0).toList();
+        return new Packet(new Message.State(answer), members, newest);
     }
 
     public void leave() {
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -48,6 +49,7 @@
     private long numbers, nextSync, nextNews;
     private int health;   // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
     private boolean left;
+    private BooleanSupplier more = () -> false;
 
     /**
      * {@code seeds}: addresses of members to join through; {@code incarnation}: above that of any earlier life, such as the
@@ -89,7 +91,7 @@
         }
         long at = Math.min(nextSync, probe.asked || probe.answered || probe.target == null ? probe.end
                 : Math.min(probe.answerBy, probe.end));
-        if (roll.rumours().subjects() > 0 && !roll.all().isEmpty()) {
+        if (hasNews() && !roll.all().isEmpty()) {
             at = Math.min(at, nextNews);
         }
         for (Member m : roll.notAlive()) {
@@ -126,11 +128,20 @@
         if (now >= nextSync) {
             sync(now);
         }
-        if (now >= nextNews && roll.rumours().subjects() > 0) {
+        if (now >= nextNews && hasNews()) {
             news(now);
         }
     }
 
+    private boolean hasNews() {
+        return roll.rumours().subjects() > 0 || more.getAsBoolean();
+    }
+
+    /** Whether there is more to tell than rumours: it is told as quickly as they are. */
+    void tellsToo(BooleanSupplier also) {
+        more = also;
+    }
+
     /** Rumours for their own sake, at a pace that does not follow this member's health. */
     private void news(long now) {
         nextNews = now + tempo.newsNs();
--- a/src/main/java/elderseam/gossip/Packet.java
+++ b/src/main/java/elderseam/gossip/Packet.java
@@ -9,6 +9,11 @@
     /** The most of a full exchange, with its envelope. */
     public static final int STATE = 256 << 10;
 
+    /** Bytes around a body from a member of that name: magic, version, kind, name, key, token, number, wall clock, seal. */
+    public static int envelope(String name) {
+        return 4 + 1 + name.length() + 4 + 8 + 8 + 8 + Signed.SEAL;
+    }
+
     public Packet {
         rumours = List.copyOf(rumours);
         claims = List.copyOf(claims);
--- a/src/main/java/elderseam/gossip/net/Post.java
+++ b/src/main/java/elderseam/gossip/net/Post.java
@@ -47,7 +47,8 @@
     private final Exchanges exchanges;
     private final Agent agent;
     private final Map<String, byte[]> vain = new HashMap<>();   // the last body to each whose token is not known yet
-    private long tickAt = Long.MAX_VALUE, countsAt;
+    private final Map<String, Standing> told = new HashMap<>();   // by name of the roster
+    private long tickAt = Long.MAX_VALUE, countsAt, suspicions;
     private String counts = "";
     private boolean closed;
 
@@ -86,8 +87,13 @@
         return System.currentTimeMillis();
     }
 
+    /** Suspicions come and go with lost datagrams, and are counted; a line is for who came and who went. */
     private void changed(String name, Standing standing) {
-        ties.log().accept(name + " is " + standing);
+        if (standing == Standing.SUSPECT) {
+            suspicions++;
+        } else if (told.put(name, standing) != standing) {
+            ties.log().accept(name + " is " + standing);
+        }
     }
 
     // ---------------------------------------------------------------- time
@@ -102,7 +108,7 @@
         }
         for (String with : agent.syncs()) {
             String name = agent.membership().nameAt(with);
-            byte[] body = Codec.encode(agent.state(false, now), Packet.STATE - Door.HEAD - Door.SEAL);
+            byte[] body = Codec.encode(agent.state(false, now), Packet.STATE);
             exchanges.open(address(with), name, body, (to, b) -> door.seal(to, b, wallMs(), io.clock.now()));
         }
         long next = agent.nextAt();
@@ -172,7 +178,7 @@
         } else if (o.packet() != null) {
             Packet answer = agent.receive(o.from(), o.packet(), now, wallMs(), o.wallMs());
             if (answer != null) {
-                line.owes = Codec.encode(answer, Packet.STATE - Door.HEAD - Door.SEAL);
+                line.owes = Codec.encode(answer, Packet.STATE);
                 line.send(door.seal(o.from(), line.owes, wallMs(), now));
             } else {
                 line.end();
@@ -204,6 +210,7 @@
             agent.remove(name);
             door.remove(name);
             vain.remove(name);
+            told.remove(name);
             ties.log().accept(name + " is off the roster");
         }
     }
@@ -219,7 +226,7 @@
 
     /** In one line: who is there, and what was dropped. */
     public String counts() {
-        StringBuilder s = new StringBuilder(agent.membership().present() + " present, dropped:");
+        StringBuilder s = new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
         boolean any = false;
         for (Door.Drop d : Door.Drop.values()) {
             any |= add(s, d.name(), door.dropped(d));
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/gossip/trial/Fleet.java
@@ -2,6 +2,7 @@
 
 import elderseam.gossip.Agent;
 import elderseam.gossip.Ceiling;
+import elderseam.gossip.Claim;
 import elderseam.gossip.Codec;
 import elderseam.gossip.Packet;
 import elderseam.gossip.Standing;
@@ -137,6 +138,28 @@
         });
     }
 
+    /** One node says of a destination that it is down; after how long all that are up hold that claim, -1: not within that time. */
+    public long untilAllHear(String from, long destination, long within) {
+        long start = time.now();
+        tie(from, new Dispatching() {
+            @Override
+            public List<Agent.Own> own() {
+                return List.of(new Agent.Own(destination, Claim.State.OPEN, 0, 20, 20));
+            }
+
+            @Override
+            public void advise(long of, Agent.Word word) {
+                // what others say is not the matter here
+            }
+        });
+        for (; time.now() - start <= within; pass(10 * MS)) {
+            if (nodes.values().stream().filter(n -> n.up).allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
+                return time.now() - start;
+            }
+        }
+        return -1;
+    }
+
     // ---------------------------------------------------------------- what a test does to it
 
     /** Ends a member's process without a word. */
@@ -224,6 +247,12 @@
         return all;
     }
 
+    /** How many claims of a destination count for one member. */
+    public int claims(String by, long destination) {
+        Node n = nodes.get(by);
+        return n.agent.claims(destination, n.now()).size();
+    }
+
     // ---------------------------------------------------------------- the network
 
     /** Runs when the member runs; never for a life that is over. */
@@ -300,9 +329,4 @@
     private static long whole(Packet p) {
         return HEAD + p.rumours().stream().mapToInt(r -> r.bytes()).sum() + p.claims().stream().mapToInt(c -> c.bytes()).sum();
     }
-
-    /** A node's agent, for those who look. */
-    Agent agent(String name) {
-        return nodes.get(name).agent;
-    }
 }
--- a/src/main/java/elderseam/gossip/trial/Trial.java
+++ b/src/main/java/elderseam/gossip/trial/Trial.java
@@ -14,10 +14,11 @@
  * @param falseSuspicions times that a member which ran was suspected by another, in the undisturbed time
  * @param falseDeaths the same, held dead
  * @param bytesPerS sent by a member, in the mean and by the one that sent most; likewise datagrams
+ * @param claimMs from a breaker that opens at one until all hold its claim, -1: not within 60 s
  * @param suspectedMs from the kill until the first suspected it; deadMs: held it dead; allMs: until all did, -1: not within 120 s
  */
 public record Trial(int instances, double loss, boolean localHealth, long seed, long joinedMs, long falseSuspicions, long falseDeaths,
-                    long bytesPerS, long mostBytesPerS, double datagramsPerS, long suspectedMs, long deadMs, long allMs) {
+                    long bytesPerS, long mostBytesPerS, double datagramsPerS, long claimMs, long suspectedMs, long deadMs, long allMs) {
     private static final long MS = 1_000_000, S = 1_000 * MS;
 
     public static Trial run(int instances, double loss, boolean localHealth, int undisturbedS, long seed) {
@@ -38,6 +39,7 @@
         long most = traffic.values().stream().mapToLong(t -> t[0]).max().orElse(0) / undisturbedS;
         double datagrams = traffic.values().stream().mapToLong(t -> t[1]).sum() / (double) instances / undisturbedS;
 
+        long claim = fleet.untilAllHear("n0000", 7, 60 * S);
         String lost = String.format("n%04d", instances - 1);
         int from = fleet.changes().size();
         long killed = fleet.now();
@@ -54,7 +56,7 @@
                 first[2] = first[2] < 0 && dead >= instances - 1 ? ms : first[2];
             }
         }
-        return new Trial(instances, loss, localHealth, seed, joined / MS, suspicions, deaths, bytes, most, datagrams, first[0],
+        return new Trial(instances, loss, localHealth, seed, joined / MS, suspicions, deaths, bytes, most, datagrams, claim < 0 ? -1 : claim / MS, first[0],
                 first[1], first[2]);
     }
 
@@ -62,16 +64,16 @@
     public String json() {
         return String.format(Locale.ROOT, "{\"instances\":%d,\"loss\":%.3f,\"local_health\":%b,\"seed\":%d,\"joined_ms\":%d,"
                 + "\"false_suspicions\":%d,\"false_deaths\":%d,\"bytes_per_s\":%d,\"most_bytes_per_s\":%d,\"datagrams_per_s\":%.2f,"
-                + "\"suspected_ms\":%d,\"dead_ms\":%d,\"all_ms\":%d}", instances, loss, localHealth, seed, joinedMs, falseSuspicions,
-                falseDeaths, bytesPerS, mostBytesPerS, datagramsPerS, suspectedMs, deadMs, allMs);
+                + "\"claim_ms\":%d,\"suspected_ms\":%d,\"dead_ms\":%d,\"all_ms\":%d}", instances, loss, localHealth, seed, joinedMs, falseSuspicions,
+                falseDeaths, bytesPerS, mostBytesPerS, datagramsPerS, claimMs, suspectedMs, deadMs, allMs);
     }
 
     /** The same in words. */
     public String words() {
         return String.format(Locale.ROOT, "%d instances, loss %.0f%%, local health %s, seed %d%n  joined after %d ms%n"
                 + "  suspected wrongly %d times, held dead wrongly %d times%n  %d bytes a second each (at most %d), %.2f datagrams%n"
-                + "  one killed: suspected after %d ms, dead after %d, known to all after %d%n", instances, loss * 100,
+                + "  a claim of one held by all after %d ms%n  one killed: suspected after %d ms, dead after %d, known to all after %d%n", instances, loss * 100,
                 localHealth ? "on" : "off", seed, joinedMs, falseSuspicions, falseDeaths, bytesPerS, mostBytesPerS, datagramsPerS,
-                suspectedMs, deadMs, allMs);
+                claimMs, suspectedMs, deadMs, allMs);
     }
 }
--- a/src/main/java/elderseam/gossip/trust/Door.java
+++ b/src/main/java/elderseam/gossip/trust/Door.java
@@ -26,8 +26,7 @@
  * hellos 2 a second for each member, 50 for all. One thread owns it.
  */
 public final class Door {
-    /** Bytes around a body: magic, version, kind, name, key, token, number, wall clock, seal. */
-    public static final int HEAD = 4 + 1 + 64 + 4 + 8 + 8 + 8, SEAL = 64;
+    private static final int SEAL = 64, LEAST = Packet.envelope("");
     private static final int MAGIC = 0x45_53_01_00;   // "ES", version 1, kind in the last byte
     private static final byte DATA = 1, HELLO = 2;
     private static final int SOURCES = 1_024, WINDOW = 1_024;
@@ -98,11 +97,11 @@
 
     private byte[] envelope(byte kind, long token, long number, long wallMs, byte[] body) {
         byte[] name = self.getBytes(StandardCharsets.US_ASCII);
-        ByteBuffer b = ByteBuffer.allocate(HEAD + body.length + SEAL);
+        ByteBuffer b = ByteBuffer.allocate(LEAST + name.length + body.length);
         b.putInt(MAGIC | kind).put((byte) name.length).put(name).putInt(keys.key()).putLong(token).putLong(number).putLong(wallMs).put(body);
         byte[] sealed = Arrays.copyOf(b.array(), b.position());
         b.put(keys.seal(sealed));
-        return Arrays.copyOf(b.array(), b.position());
+        return b.array();
     }
 
     private Peer peer(String name, long now) {
@@ -117,12 +116,12 @@
             return drop(Drop.OVERSIZED, from);
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
-        if (length < HEAD - 64 + 1 + SEAL || (b.getInt(0) & 0xffff_ff00) != MAGIC || bytes[3] != DATA && bytes[3] != HELLO) {
+        if (length < LEAST + 1 || (b.getInt(0) & 0xffff_ff00) != MAGIC || bytes[3] != DATA && bytes[3] != HELLO) {
             return drop(Drop.FORM, from);
         }
         b.position(4);
         int n = b.get();
-        if (n < 1 || n > 64 || length < HEAD - 64 + n + SEAL) {
+        if (n < 1 || n > 64 || length < LEAST + n) {
             return drop(Drop.FORM, from);
         }
         String name = new String(bytes, 5, n, StandardCharsets.US_ASCII);
--- a/src/test/java/elderseam/gossip/AgentTest.java
+++ b/src/test/java/elderseam/gossip/AgentTest.java
@@ -232,6 +232,54 @@
         assertTrue(agent.claims().size() <= 256, agent.claims().size() + " held");
     }
 
+    /** Names as long as they may be, and as much to say as there can be: no datagram and no state is over its size. */
+    @Test
+    void theLongestNamesFit() {
+        Trust anybody = new Trust() {
+            @Override
+            public int key() {
+                return 1;
+            }
+
+            @Override
+            public byte[] seal(byte[] bytes) {
+                return new byte[64];
+            }
+
+            @Override
+            public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
+                return true;
+            }
+
+            @Override
+            public boolean mayBeAt(String name, String address) {
+                return true;
+            }
+        };
+        String self = "a".repeat(64), address = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
+        Agent a = new Agent(self, address, List.of(), 1, Tempo.USUAL, ceiling, anybody, now, new SplittableRandom(1), (n, s) -> { });
+        List<Rumour> all = new ArrayList<>();
+        for (int i = 0; i < 1_024; i++) {
+            all.add(new Rumour(String.format("%064d", i), address, Standing.SUSPECT, 1, "b".repeat(64)));
+        }
+        a.merge(all, now);
+        for (int i = 0; i < 200; i++) {
+            String reporter = String.format("%064d", i);
+            a.receive(reporter, new Packet(new Message.News(), List.of(), List.of(new Signed(open(reporter, 1, i), wall, 1, new byte[64]))), now, wall, wall);
+        }
+        int state = Codec.encode(a.state(true, now), 2 * Packet.STATE).length + Packet.envelope(self);
+        assertTrue(state > 190_000 && state <= Packet.STATE, state + " bytes");
+        int longest = 0;
+        for (int i = 0; i < 100; i++) {
+            now += S / 10;
+            a.tick(now);
+            for (Agent.Outgoing o : a.sent(now)) {
+                longest = Math.max(longest, o.bytes().length + Packet.envelope(self));
+            }
+        }
+        assertTrue(longest > 1_000 && longest <= Packet.DATAGRAM, longest + " bytes");
+    }
+
     @Test
     void whoIsOffTheRosterIsForgotten() {
         agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()), now, wall, wall);
--- a/src/test/java/elderseam/gossip/FleetTest.java
+++ b/src/test/java/elderseam/gossip/FleetTest.java
@@ -82,6 +82,29 @@
         assertTrue(fleet.untilAgreed(240 * S) >= 0);
     }
 
+    /** What one says of a destination is with all within seconds, lost, repeated and overtaken as datagrams may be. */
+    @ParameterizedTest
+    @CsvSource({"5,0,800", "50,0,1500", "50,0.3,2500"})
+    void aClaimReachesAll(int instances, double loss, long withinMs) {
+        Fleet fleet = joined(instances, loss, 12);
+        long ns = fleet.untilAllHear("n0002", 7, 30 * S);
+        assertTrue(ns >= 0 && ns <= withinMs * 1_000_000, ns / 1_000_000 + " ms");
+    }
+
+    /** In two halves a claim stays in its half; it is not told later as if it were new. */
+    @Test
+    void aClaimOfBeforeIsNotNewAfterAPartition() {
+        Fleet fleet = joined(8, 0, 13);
+        fleet.part(true);
+        assertEquals(-1, fleet.untilAllHear("n0002", 7, 15 * S));
+        fleet.kill("n0002");
+        fleet.pass(20 * S);
+        fleet.part(false);
+        fleet.pass(60 * S);
+        assertTrue(fleet.standing("n0001", "n0003") != null);
+        assertEquals(0, fleet.claims("n0001", 7));
+    }
+
     /** Good-bye is no death. */
     @Test
     void oneThatLeavesIsNotSuspected() {
