The language of rules: CEL typed, bounded at load, evaluated by a reference that counts

With it, from a hostile reading of the gossip: a member that lies could push another's incarnation to where its refutation is not readable, and so make everybody deaf to it. Tests of SIGHUP with a faulty settings file, and of keys and rosters on the command line.

--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/Agent.java
@@ -33,6 +33,11 @@
     private static final int MOST_DESTINATIONS = 256, STATE_CLAIMS = 256;
     private static final int MESSAGE = 1 + 8 + 1 + 64 + 2 + 2;   // bytes of a message with the longest name, and two counts
     private static final int WINDOW_MS = 10_000;
+    /**
+     * Incarnations begin as a wall clock in milliseconds. What others say of a member may be so far ahead, and twice as far what
+     * it says itself: so one that lies can't push a member's incarnation to where nobody would believe its refutation.
+     */
+    private static final long DAY_MS = 86_400_000;
     private static final long MS = 1_000_000, AGAIN_NS = 3_000 * MS, STALE_MS = 12_000;
     private static final double CHECKS_PER_S = 40, ISSUES_PER_S = 20;
 
@@ -58,7 +63,7 @@
     private final long[] dropped = new long[Drop.values().length];
 
     /** Why something was passed over. */
-    public enum Drop { STALE_CLAIM, FORGED_CLAIM, CLAIMS_OVER_RATE, STRANGER, CEILING }
+    public enum Drop { STALE_CLAIM, FORGED_CLAIM, CLAIMS_OVER_RATE, STRANGER, AHEAD, CEILING }
 
     public Agent(String self, String address, List<String> seeds, long incarnation, Tempo tempo, Ceiling ceiling, Trust trust,
                  long now, SplittableRandom random, BiConsumer<String, Standing> changed) {
@@ -89,7 +94,9 @@
         clocks.hear(from, theirWallMs, wallMs, now);
         List<Rumour> allowed = new ArrayList<>(p.rumours().size());
         for (Rumour r : p.rumours()) {
-            if (r.member().equals(self) || trust.mayBeAt(r.member(), r.address())) {
+            if (r.incarnation() > wallMs + DAY_MS * (r.member().equals(from) ? 2 : 1)) {
+                dropped[Drop.AHEAD.ordinal()]++;
+            } else if (r.member().equals(self) || trust.mayBeAt(r.member(), r.address())) {
                 allowed.add(r);
             } else {
                 dropped[Drop.STRANGER.ordinal()]++;
--- /dev/null
+++ b/src/main/java/elderseam/rules/lang/Arithmetic.java
@@ -0,0 +1,88 @@
+package elderseam.rules.lang;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+
+/** {@code + - * / %}: whole numbers overflow into errors, never around. */
+final class Arithmetic {
+    private Arithmetic() {}
+
+    static Object of(String f, Object x, Object y) {
+        char sign = f.charAt(0);
+        try {
+            if (x instanceof Long a && y instanceof Long b) {
+                return ints(sign, a, b);
+            }
+            if (x instanceof Uint a && y instanceof Uint b) {
+                return uints(sign, a.bits(), b.bits());
+            }
+            if (x instanceof Double a && y instanceof Double b) {
+                return switch (sign) {
+                    case '+' -> a + b;
+                    case '-' -> a - b;
+                    case '*' -> a * b;
+                    case '/' -> a / b;
+                    default -> Err.NO_OVERLOAD;
+                };
+            }
+            return sign == '+' ? plus(x, y) : sign == '-' ? minus(x, y) : Err.NO_OVERLOAD;
+        } catch (ArithmeticException | java.time.DateTimeException e) {
+            return Err.OVERFLOW;
+        }
+    }
+
+    private static Object ints(char sign, long a, long b) {
+        if ((sign == '/' || sign == '%') && b == 0) {
+            return Err.BY_ZERO;
+        }
+        return switch (sign) {
+            case '+' -> Math.addExact(a, b);
+            case '-' -> Math.subtractExact(a, b);
+            case '*' -> Math.multiplyExact(a, b);
+            default -> a == Long.MIN_VALUE && b == -1 ? Err.OVERFLOW : sign == '/' ? (Object) (a / b) : (Object) (a % b);
+        };
+    }
+
+    private static Object uints(char sign, long a, long b) {
+        if ((sign == '/' || sign == '%') && b == 0) {
+            return Err.BY_ZERO;
+        }
+        return switch (sign) {
+            case '+' -> Long.compareUnsigned(a + b, a) < 0 ? Err.OVERFLOW : new Uint(a + b);
+            case '-' -> Long.compareUnsigned(a, b) < 0 ? Err.OVERFLOW : new Uint(a - b);
+            case '*' -> a != 0 && Long.divideUnsigned(a * b, a) != b ? Err.OVERFLOW : new Uint(a * b);
+            case '/' -> new Uint(Long.divideUnsigned(a, b));
+            default -> new Uint(Long.remainderUnsigned(a, b));
+        };
+    }
+
+    private static Object plus(Object x, Object y) {
+        if (x instanceof String a && y instanceof String b) {
+            return a.concat(b);
+        }
+        if (x instanceof List<?> a && y instanceof List<?> b) {
+            return Functions.joined(a, b);
+        }
+        if (x instanceof Bytes a && y instanceof Bytes b) {
+            byte[] all = Arrays.copyOf(a.octets, a.octets.length + b.octets.length);
+            System.arraycopy(b.octets, 0, all, a.octets.length, b.octets.length);
+            return new Bytes(all);
+        }
+        if (x instanceof Instant && y instanceof Duration || y instanceof Instant && x instanceof Duration) {
+            return x instanceof Instant t ? Functions.inRange(t.plus((Duration) y)) : Functions.inRange(((Instant) y).plus((Duration) x));
+        }
+        return x instanceof Duration a && y instanceof Duration b ? Functions.inRange(a.plus(b)) : Err.NO_OVERLOAD;
+    }
+
+    private static Object minus(Object x, Object y) {
+        if (x instanceof Instant a && y instanceof Instant b) {
+            return Functions.inRange(Duration.between(b, a));
+        }
+        if (x instanceof Instant a && y instanceof Duration b) {
+            return Functions.inRange(a.minus(b));
+        }
+        return x instanceof Duration a && y instanceof Duration b ? Functions.inRange(a.minus(b)) : Err.NO_OVERLOAD;
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/rules/lang/Cost.java
@@ -0,0 +1,33 @@
+package elderseam.rules.lang;
+
+import static elderseam.rules.lang.Size.add;
+import static elderseam.rules.lang.Size.mul;
+
+/**
+ * What functions cost, in units of about one small step, by the sizes of what they are given. The bound at load and the count
+ * while evaluating both come from here, so that the count is below the bound wherever inputs keep to what was declared.
+ */
+final class Cost {
+    private Cost() {}
+
+    static long of(String function, Size[] a) {
+        return switch (function) {
+            case "==", "!=", "<", "<=", ">", ">=" -> add(1, add(a[0].whole(), a[1].whole()));
+            case "+" -> add(1, add(a[0].whole(), a[1].whole()));
+            case "in" -> add(1, a[1].item() == null ? a[0].whole() : mul(a[1].length(), add(a[0].whole(), a[1].items().whole())));
+            case "[]" -> add(1, a[1].whole());
+            case "startsWith", "endsWith" -> add(1, a[1].whole());
+            case "contains" -> add(1, add(a[0].whole(), mul(a[0].length(), a[1].length()) / 16));
+            case "matches" -> add(1, mul(1 + a[0].length(), 1 + a[1].length()) / 4);
+            case "size" -> a[0].item() == null ? a[0].whole() : 1;
+            case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" -> add(8, a[0].whole());
+            default -> function.startsWith("get") ? 20 : 1;
+        };
+    }
+
+    /** The size of a value. Of a list or map only how many there are: what looks at its items counts as it goes. */
+    static Size of(Object v) {
+        return v instanceof String s ? Size.text(s.length()) : v instanceof Bytes b ? Size.text(b.length())
+                : v instanceof java.util.List<?> l ? Size.list(l.size(), Size.NONE) : v instanceof java.util.Map<?, ?> m ? Size.list(m.size(), Size.NONE) : Size.ONE;
+    }
+}
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -81,6 +81,26 @@
         assertEquals(2, e.err.lines().count(), e.err);
     }
 
+    /** A key, its line, the roster that takes it; no key is written over; a fault of a roster has its line; a file without gossip. */
+    @Test
+    void keysAndRoster() throws Exception {
+        Path key = folder.resolve("key"), roster = folder.resolve("roster");
+        Ended made = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8,fd00::/8");
+        assertTrue(made.code == 0 && made.out.startsWith("n1 10.0.0.0/8,fd00::/8 "), made.toString());
+        Files.writeString(roster, made.out);
+        Ended list = run("keys", "list", roster.toString(), "--json");
+        assertEquals("{\"name\":\"n1\",\"from\":\"10.0.0.0/8,fd00::/8\",\"keys\":[\"" + made.out.strip().split(" ")[2] + "\"]}\n", list.out, list.err);
+        Ended again = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8");
+        assertTrue(again.code == 1 && again.err.contains("a key is not written over"), again.toString());
+        assertEquals(2, run("keys", "new", folder.resolve("k2").toString(), "--name", "n1", "--from", "10.0.0.1/8").code);
+        Files.writeString(roster, made.out + made.out);
+        Ended twice = run("keys", "list", roster.toString());
+        assertTrue(twice.code == 1 && twice.err.contains("roster:2: n1: its key is told of n1 already"), twice.toString());
+        Path off = Files.writeString(folder.resolve("off.ini"), "# nothing\n");
+        Ended watch = run("gossip", "watch", off.toString());
+        assertTrue(watch.code == 1 && watch.err.contains("gossip.listen: is off"), watch.toString());
+    }
+
     /** Words for people, one JSON object for programs, a usage fault for a fleet that can't be. */
     @Test
     void aTrialTellsWhatItSaw() throws Exception {
--- a/src/test/java/elderseam/gossip/AgentTest.java
+++ b/src/test/java/elderseam/gossip/AgentTest.java
@@ -178,6 +178,23 @@
         assertEquals("d", agent.membership().seen().get(0).member());
     }
 
+    /** An accusation at an incarnation that could not be outbid is passed over; one that can is refuted, and believed when it is. */
+    @Test
+    void anIncarnationCanNotBePushedBeyondBelief() {
+        long ownBefore = agent.membership().state().get(0).incarnation(), most = wall + 86_400_000;
+        for (long lie : new long[] {Long.MAX_VALUE / 2, most + 1}) {
+            agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, lie, "b")), List.of()), now, wall, wall);
+        }
+        assertEquals(ownBefore, agent.membership().state().get(0).incarnation());
+        assertEquals(2, agent.dropped(Agent.Drop.AHEAD));
+        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, most, "b")), List.of()), now, wall, wall);
+        Rumour refutes = agent.membership().state().get(0);
+        assertEquals(most + 1, refutes.incarnation());
+        Agent other = new Agent("c", "c:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("c"), now, new SplittableRandom(2), (n, s) -> { });
+        other.receive("a", new Packet(new Message.News(), List.of(refutes), List.of()), now, wall, wall);
+        assertEquals(Standing.ALIVE, other.membership().standing("a"));
+    }
+
     /** Above the ceiling nothing leaves; while it binds, the newest and most confirmed claims are the ones that do. */
     @Test
     void theCeilingLetsTheMostConfirmedGoFirst() {
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -2,6 +2,7 @@
 
 import static elderseam.scenario.Scenario.play;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,6 +46,35 @@
                 """.replace("{to}", TO));
     }
 
+    /** The settings file is read again too: a fault of it leaves all as it was, RELAY_CONFIG's news with it. */
+    @Test
+    void aFaultOfTheSettingsChangesNothing() throws Exception {
+        try (Scenario s = new Scenario(folder)) {
+            s.start();
+            Files.writeString(folder.resolve("elderseam.ini"), "[events]\nremember_s = never\n[nonsense]\na = b\n");
+            s.run("""
+                    platform watched 60000
+                    relay hangup
+                    relay expect kept, the new one can't be used: {folder}/elderseam.ini:2: events.remember_s: 'never' can't be used
+                    relay expect {folder}/elderseam.ini:4: nonsense.a: unknown section
+                    platform send h3 SERVING
+                    platform watched 200
+                    c send POST /rent-payment; {to} X-Txn: pay
+                    c expect 202
+                    """.replace("{to}", TO).replace("{folder}", folder.toString()));
+        }
+    }
+
+    /** What can't change live is named, and waits. */
+    @Test
+    void whatWaitsForTheNextStartIsNamed() throws Exception {
+        try (Scenario s = new Scenario(folder)) {
+            s.start();
+            Files.writeString(folder.resolve("elderseam.ini"), "[events]\nlisten = off\nremember_s = 60\n[gossip]\nmost_bytes_per_s = 5000\n");
+            s.run("relay hangup\nrelay expect waits for the next start: events.listen\n");
+        }
+    }
+
     /** A half-written file, or one without an address, leaves everything as it was. */
     @ParameterizedTest
     @ValueSource(strings = {"{\"name\":\"n1\",\"discovery\":\"127.0.0.1:", "{\"discovery\":\"nowhere\"}"})
