One way to look up a held claim, a key and an operator's file

From a second reading of the gossip: the look-up of a held claim stood four times in Claims; the door sought a sender's key twice for each envelope, encoding each key of its entry each time; Roster read its file with its own copy of the checks in Settings; Agent.merge was there for one test, which now goes through receive as everybody does. Behaviour is as it was, no assertion changed.

Left, and noted: the few lines that turn a breaker into a claim's state in GossipWiring and in the trial's Dispatcher (no package that both know knows module and gossip).

--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/Agent.java
@@ -138,11 +138,6 @@
         spread.say(subject, s, confirmed);
     }
 
-    /** Another's members, as a full exchange tells them. */
-    void merge(List<Rumour> members, long now) {
-        membership.merge(members, now);
-    }
-
     // ---------------------------------------------------------------- claims, some times a second
 
     /**
--- a/src/main/java/elderseam/gossip/Claims.java
+++ b/src/main/java/elderseam/gossip/Claims.java
@@ -52,20 +52,25 @@
         return true;
     }
 
+    /** What is held of that reporter and destination, or null. */
+    private Held held(Claim c) {
+        return byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+    }
+
     /** Whether {@link #hear} would take it for news, as far as its own number tells. */
     public boolean isNews(Claim c) {
-        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        Held h = held(c);
         return h == null || Claim.AGE.compare(c, h.claim) > 0;
     }
 
     /** Whether that very claim is held and counts now. */
     boolean counts(Claim c, long now) {
-        return holds(c) && now - byReporter.get(c.reporter()).get(c.destination()).heardAt < TTL_NS;
+        return holds(c) && now - held(c).heardAt < TTL_NS;
     }
 
     /** Whether that very claim is held. */
     boolean holds(Claim c) {
-        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        Held h = held(c);
         return h != null && h.claim.equals(c);
     }
 
@@ -94,7 +99,7 @@
 
     /** What is left of a told wait, as its claim said and by this clock; 0 where it is over. */
     public long waitNs(Claim c, long now) {
-        Held h = byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+        Held h = held(c);
         return h == null ? 0 : Math.max(0, Math.min(TTL_NS, c.waitMs() * 1_000_000L) - (now - h.heardAt));
     }
 
--- a/src/main/java/elderseam/gossip/trust/Door.java
+++ b/src/main/java/elderseam/gossip/trust/Door.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.security.PublicKey;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -133,9 +134,9 @@
         if (!entry.mayBeAt(Roster.address(from))) {
             return drop(Drop.ADDRESS, from);
         }
-        int key = b.getInt();
+        PublicKey key = entry.key(b.getInt());
         long token = b.getLong(), number = b.getLong(), theirWall = b.getLong();
-        if (entry.key(key) == null) {
+        if (key == null) {
             return drop(Drop.KEY, from);
         }
         Peer p = peer(name, now);
@@ -143,7 +144,7 @@
                 : data(p, name, key, token, number, theirWall, bytes, length, b, from, wallMs, now);
     }
 
-    private Opened data(Peer p, String name, int key, long token, long number, long theirWall, byte[] bytes, int length, ByteBuffer b,
+    private Opened data(Peer p, String name, PublicKey key, long token, long number, long theirWall, byte[] bytes, int length, ByteBuffer b,
                         InetAddress from, long wallMs, long now) {
         boolean fresh = token != 0 && token == p.offered;
         if (token == 0 || token != p.handed && !fresh) {
@@ -152,7 +153,7 @@
         if (!fresh && !unseen(p, number)) {
             return drop(Drop.REPLAYED, from);
         }
-        if (!genuine(p, name, key, bytes, length, from, now)) {
+        if (!genuine(p, key, bytes, length, from, now)) {
             return Opened.NOTHING;
         }
         if (fresh) {
@@ -181,7 +182,7 @@
     }
 
     /** Only as the answer to an envelope of this life that had no newer one; a seed says its name so. */
-    private Opened hello(Peer p, String name, int key, byte[] bytes, int length, ByteBuffer b, InetAddress from, long now) {
+    private Opened hello(Peer p, String name, PublicKey key, byte[] bytes, int length, ByteBuffer b, InetAddress from, long now) {
         if (length - b.position() != 24 + SEAL) {
             return drop(Drop.FORM, from);
         }
@@ -192,7 +193,7 @@
         if (!asked && !asSeed || offered == 0) {   // one of several that answer the same question, or one of old
             return drop(Drop.HELLO, from);
         }
-        if (!genuine(p, name, key, bytes, length, from, now)) {
+        if (!genuine(p, key, bytes, length, from, now)) {
             return Opened.NOTHING;
         }
         if (asSeed) {
@@ -204,12 +205,12 @@
         return new Opened(name, null, 0, null);
     }
 
-    private boolean genuine(Peer p, String name, int key, byte[] bytes, int length, InetAddress from, long now) {
+    private boolean genuine(Peer p, PublicKey key, byte[] bytes, int length, InetAddress from, long now) {
         if (!p.checks.take(1, now) || !checks.take(1, now)) {
             count(Drop.RATE, from);
             return false;
         }
-        if (!keys.genuine(name, key, bytes, length - SEAL, Arrays.copyOfRange(bytes, length - SEAL, length))) {
+        if (!Ed25519.verify(key, bytes, length - SEAL, Arrays.copyOfRange(bytes, length - SEAL, length))) {
             count(Drop.SEAL, from);
             return false;
         }
--- a/src/main/java/elderseam/gossip/trust/Keyring.java
+++ b/src/main/java/elderseam/gossip/trust/Keyring.java
@@ -37,13 +37,9 @@
 
     @Override
     public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
-        return genuine(name, key, bytes, bytes.length, seal);
-    }
-
-    boolean genuine(String name, int key, byte[] bytes, int length, byte[] seal) {
         Roster.Entry e = roster.get(name);
         PublicKey k = e == null ? null : e.key(key);
-        return k != null && Ed25519.verify(k, bytes, length, seal);
+        return k != null && Ed25519.verify(k, bytes, bytes.length, seal);
     }
 
     @Override
--- a/src/main/java/elderseam/gossip/trust/Roster.java
+++ b/src/main/java/elderseam/gossip/trust/Roster.java
@@ -1,6 +1,7 @@
 package elderseam.gossip.trust;
 
 import elderseam.gossip.Codec;
+import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import inet.ipaddr.AddressStringException;
 import inet.ipaddr.IPAddress;
@@ -8,9 +9,6 @@
 import inet.ipaddr.IPAddressString;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.nio.charset.CharacterCodingException;
-import java.nio.file.Files;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.security.PublicKey;
 import java.util.ArrayList;
@@ -24,7 +22,7 @@
  * put beside the old one everywhere before the member uses it. Taken without a fault or not at all; 1,024 members at most.
  */
 public final class Roster {
-    private static final int MOST = 1_024, MOST_BYTES = 1 << 20, MOST_RANGES = 16;
+    private static final int MOST = 1_024, MOST_RANGES = 16;
 
     /** One member: the addresses that it may speak from, and its keys. */
     public record Entry(String name, List<IPAddress> ranges, List<PublicKey> keys) {
@@ -55,17 +53,7 @@
 
     /** Reads one; every fault is told. */
     public static Roster read(Path file) throws IOException {
-        List<String> lines;
-        try {
-            if (Files.size(file) > MOST_BYTES) {
-                throw new SettingsFault(List.of(file + ": more than " + MOST_BYTES + " bytes, a roster is smaller"));
-            }
-            lines = Files.readAllLines(file);
-        } catch (NoSuchFileException e) {
-            throw new SettingsFault(List.of(file + ": there is no such file"));
-        } catch (CharacterCodingException e) {
-            throw new SettingsFault(List.of(file + ": not UTF-8 text"));
-        }
+        List<String> lines = Settings.lines(file, "a roster");
         Roster roster = new Roster();
         Map<String, String> keyOf = new LinkedHashMap<>();
         List<String> faults = new ArrayList<>();
--- a/src/main/java/elderseam/settings/Settings.java
+++ b/src/main/java/elderseam/settings/Settings.java
@@ -37,7 +37,7 @@
 
     /** Reads and checks a file against these keys; {@link Contradiction}s that its values fulfil are faults too. */
     public static Settings read(Path file, Collection<? extends Key<?>> keys, List<Contradiction> contradictions) throws IOException {
-        List<String> lines = lines(file);
+        List<String> lines = lines(file, "a settings file");
         boolean empty = lines.stream().map(String::strip).allMatch(l -> l.isEmpty() || l.startsWith("#") || l.startsWith(";"));
         Settings settings = new Settings(file.toString(), empty ? Map.of() : new LinkedHashMap<>());
         List<String> faults = new ArrayList<>();
@@ -58,10 +58,11 @@
         return settings;
     }
 
-    private static List<String> lines(Path file) throws IOException {
+    /** The lines of an operator's file of at most a megabyte; {@code what} it is, for the fault where it is larger. */
+    public static List<String> lines(Path file, String what) throws IOException {
         try {
             if (Files.size(file) > MOST_BYTES) {
-                throw new SettingsFault(List.of(file + ": more than " + MOST_BYTES + " bytes, a settings file is smaller"));
+                throw new SettingsFault(List.of(file + ": more than " + MOST_BYTES + " bytes, " + what + " is smaller"));
             }
             return Files.readAllLines(file);
         } catch (NoSuchFileException e) {
--- a/src/test/java/elderseam/gossip/AgentTest.java
+++ b/src/test/java/elderseam/gossip/AgentTest.java
@@ -279,7 +279,7 @@
         for (int i = 0; i < 1_024; i++) {
             all.add(new Rumour(String.format("%064d", i), address, Standing.SUSPECT, 1, "b".repeat(64)));
         }
-        a.merge(all, now);
+        a.receive("b", new Packet(new Message.State(true), all, List.of()), now, wall, wall);
         for (int i = 0; i < 200; i++) {
             String reporter = String.format("%064d", i);
             a.receive(reporter, new Packet(new Message.News(), List.of(), List.of(new Signed(open(reporter, 1, i), wall, 1, new byte[64]))), now, wall, wall);
