--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -5,6 +5,7 @@
 import elderseam.core.Clock;
 import elderseam.core.Journal;
 import elderseam.core.Relay;
+import elderseam.core.Rulings;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Lean;
@@ -40,7 +41,8 @@
     private final Discovery discovery;
     private final Path settingsFile;
     private final Settings settings;
-    private Gossip gossip;   // null while it is off
+    private final Rules rules;   // null while there are none
+    private Gossip gossip;       // null while it is off
     private final List<Server> servers = new ArrayList<>();
     private final long born;
 
@@ -53,6 +55,11 @@
         void leave();
     }
 
+    /** The operator's rules, likewise. */
+    interface Rules extends Rulings {
+        Runnable reload(Settings fresh) throws IOException;
+    }
+
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
     static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         Clock clock = new Clock();
@@ -90,13 +97,15 @@
         Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
         relay = new Relay(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
-        front = new PlatformFront(io, platform, discovery(config), relay, config.settings());
+        boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !journal.schemes().isEmpty();
+        rules = ruled ? new RulesWiring(io, config.settings(), settings, relay, journal) : null;
+        front = new PlatformFront(io, platform, discovery(config), relay, config.settings(), rules);
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         discovery = new Discovery(io, platform, discovery(config), hosts, relay);
         relay.onWatch(discovery::watch);
         int eventClients = 0;
         if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
-            EventsWiring second = new EventsWiring(io, config, events, relay, upstream, hosts, servers);
+            EventsWiring second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
             second.listen();
@@ -136,12 +145,16 @@
     private Runnable reading(Map<String, String> variables) throws IOException {
         Config fresh = Config.read(variables);
         Settings told = OperatorFile.settings(settingsFile);
-        Runnable rest = gossip == null ? () -> { } : gossip.reload(told);
-        List<String> later = settings.changed(told, Keys.ALL, false);
+        Runnable rest = gossip == null ? () -> { } : gossip.reload(told), ruling = rules == null ? () -> { } : rules.reload(told);
+        List<String> later = new ArrayList<>(settings.changed(told, Keys.ALL, false));
+        if (rules == null && !told.get(Keys.RULES_FILES).isEmpty()) {
+            later.add(Keys.RULES_FILES.path());   // there were none at the start
+        }
         return () -> {
             discovery.move(discovery(fresh));
             front.move(discovery(fresh));
             rest.run();
+            ruling.run();
             System.err.println("configuration read again, discovery at " + fresh.discovery()
                     + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
         };
--- a/src/main/java/elderseam/EventsWiring.java
+++ b/src/main/java/elderseam/EventsWiring.java
@@ -6,6 +6,7 @@
 import elderseam.cloudevents.EventUpstream;
 import elderseam.core.Journal;
 import elderseam.core.Relay;
+import elderseam.core.Rulings;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Server;
@@ -27,12 +28,12 @@
     private final List<Server> servers;
 
     EventsWiring(Io io, Config config, EventConfig events, Relay relay, Connections upstream, Hosts hosts,
-                 List<Server> servers) {
+                 List<Server> servers, Rulings rulings) {
         this.io = io;
         this.events = events;
         this.limits = config.limits();
         this.servers = servers;
-        this.front = new EventFront(io.clock, relay, config.settings(), events);
+        this.front = new EventFront(io.clock, relay, config.settings(), events, rulings);
         relay.front(EventFront.NUMBER, front, new EventUpstream(upstream, hosts::host));
     }
 
--- /dev/null
+++ b/src/main/java/elderseam/RulesWiring.java
@@ -0,0 +1,164 @@
+package elderseam;
+
+import elderseam.core.Answer;
+import elderseam.core.Clock;
+import elderseam.core.Facts;
+import elderseam.core.Journal;
+import elderseam.core.Relay;
+import elderseam.core.SettingsMap;
+import elderseam.core.Stream;
+import elderseam.http.Io;
+import elderseam.module.Sender;
+import elderseam.rules.Decider;
+import elderseam.rules.Extent;
+import elderseam.rules.Loader;
+import elderseam.rules.Names;
+import elderseam.rules.Rulebook;
+import elderseam.rules.Scheme;
+import elderseam.rules.Surroundings;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Wires the operator's rules to relay and journal; where there are none, and no key of earlier ones is remembered, not loaded. */
+final class RulesWiring implements Daemon.Rules, Surroundings {
+    private static final long FRESH_NS = 50 * Clock.MS, PRUNE_NS = 60_000 * Clock.MS;
+
+    private final Io io;
+    private final Relay relay;
+    private final Journal journal;
+    private final Names names;
+    private final Sender.Settings module;
+    private final Decider decider;
+    private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
+    private long breakersAt = Long.MIN_VALUE / 2;
+    private volatile int earlier;
+
+    /** Reads, checks and tests the rules, before any socket opens; faults end the start. */
+    RulesWiring(Io io, SettingsMap settings, Settings operator, Relay relay, Journal journal) throws IOException {
+        this.io = io;
+        this.relay = relay;
+        this.journal = journal;
+        this.names = Names.of(settings.names("services"), settings.names("orgs"));
+        this.module = settings.settings();
+        this.decider = new Decider(module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(), module.maxRetryAfterNs(), module.mostHeld(), this,
+                words -> System.err.println(words));
+        Loader.Loaded loaded = load(operator);
+        for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
+            Scheme scheme = new Scheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
+            if (loaded == null || !scheme.equals(loaded.book().scheme())) {
+                decider.remember(scheme, Loader.scheme(scheme, names));
+            }
+        }
+        if (!put(loaded)) {
+            throw new IOException("rules: the journal has no room for what their keys stand on");
+        }
+        relay.countOut();
+        prune();
+    }
+
+    private Loader.Loaded load(Settings operator) throws IOException {
+        List<Path> files = operator.get(Keys.RULES_FILES).stream().map(Path::of).toList();
+        return files.isEmpty() ? null : Loader.load(files, Extent.of(operator), names);
+    }
+
+    /** Between two requests, whole; what its keys stand on is journalled before any of them counts. */
+    private boolean put(Loader.Loaded loaded) {
+        Scheme scheme = loaded == null ? null : loaded.book().scheme();
+        if (scheme != null && !journal.scheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8))) {
+            return false;
+        }
+        if (scheme == null) {
+            journal.noScheme();
+        }
+        decider.put(loaded == null ? null : loaded.book());
+        earlier = decider.remembered();
+        System.err.println("rules: " + (loaded == null ? "none" : loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
+                + loaded.bound() + " units a request") + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
+        return true;
+    }
+
+    private void prune() {
+        decider.forget(journal.schemes().keySet());
+        earlier = decider.remembered();
+        io.at(io.clock.now() + PRUNE_NS, this::prune);
+    }
+
+    @Override
+    public Runnable reload(Settings fresh) throws IOException {
+        Loader.Loaded loaded = load(fresh);
+        if (loaded != null) {
+            loaded.warnings().forEach(System.err::println);
+        }
+        if (earlier >= Decider.MOST_REMEMBERED) {
+            throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: " + Decider.MOST_REMEMBERED
+                    + "; new ones within rules.remember_s of the oldest");
+        }
+        return () -> {
+            System.err.println("rules: " + decider.counts());
+            if (!put(loaded)) {
+                System.err.println("rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
+            }
+        };
+    }
+
+    @Override
+    public Ruled rule(Stream.Message m, Facts facts) {
+        long now = io.clock.now();
+        if (m.destination() == Relay.NOWHERE) {   // the warm path's
+            return new Ruled(m, List.of(), null, "");
+        }
+        Decider.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
+        if (!d.fault().isEmpty()) {
+            return new Ruled(m, List.of(), null, d.fault());
+        }
+        boolean known = relay.knows(m.id()) || (!d.message().same().isEmpty() || !d.also().isEmpty()) && relay.knows(d.message().same(), d.also());
+        long wait = known ? 0 : decider.admit(now);
+        return new Ruled(d.message(), d.also(), wait > 0 ? Answer.refused(wait) : null, "");
+    }
+
+    // ---------------------------------------------------------------- how the dispatcher stands
+
+    private Sender.Breaker look(long destination) {
+        long now = io.clock.now();
+        if (now - breakersAt > FRESH_NS) {
+            breakersAt = now;
+            breakers.clear();
+            relay.breakers(breakers::put);
+        }
+        return breakers.get(destination);
+    }
+
+    @Override
+    public Breaker breaker(long destination) {
+        Sender.Breaker b = look(destination);
+        return b == null || b.standing() == Sender.Standing.CLOSED ? Breaker.CLOSED : b.standing() == Sender.Standing.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
+    }
+
+    @Override
+    public long waitNs(long destination) {
+        Sender.Breaker b = look(destination);
+        return b == null ? 0 : Math.max(0, b.waitNs());
+    }
+
+    @Override
+    public int inFlight(long destination) {
+        return relay.out(destination);
+    }
+
+    @Override
+    public int held() {
+        return relay.held();
+    }
+
+    @Override
+    public double share(int tenant) {
+        return tenant < 0 || tenant >= module.tenantRates().size() ? 0 : module.tenantRates().get(tenant) / Math.max(1, module.senders());
+    }
+}
--- a/src/main/java/elderseam/WarmPath.java
+++ b/src/main/java/elderseam/WarmPath.java
@@ -1,6 +1,7 @@
 package elderseam;
 
 import elderseam.core.Clock;
+import elderseam.core.Relay;
 import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
@@ -24,7 +25,7 @@
         String address = listener.getAddress().getHostAddress() + ":" + listener.getPort();
         Connections own = new Connections(io, WITHIN_NS, 1, 1 << 10);
         UpstreamHost self = new UpstreamHost("self", address);
-        Map<String, String> nowhere = Map.of("X-Txn", "warm", "X-Remaining", "1m", "X-Addressing", "dest=999999999999999999",
+        Map<String, String> nowhere = Map.of("X-Txn", "warm", "X-Remaining", "1m", "X-Addressing", "dest=" + Relay.NOWHERE,
                 "Idempotency-Key", "warm", "X-Org", "warm");
         List<Call> calls = List.of(Call.get("/health/ready"), new Call("POST", "/" + cls, nowhere, new byte[64]));
         step(io, own, self, calls, 0, io.clock.now() + WITHIN_NS, then);
--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -22,7 +22,7 @@
 @Command(name = "elderseam", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "A dispatcher that delivers messages to partners, and its test and rehearsal kit.",
         subcommands = {Commands.Serve.class, Commands.SimHost.class, Commands.AuthorityCommand.class, Commands.Train.class,
-            Commands.ConfigCommand.class, KeysCommand.class, GossipCommand.class})
+            Commands.ConfigCommand.class, KeysCommand.class, GossipCommand.class, RulesCommand.class})
 public final class Commands implements Callable<Integer> {
     /** Something that the wiring starts. */
     public interface Start {
@@ -216,8 +216,20 @@
             return 0;
         }
 
-        private static String quoted(String text) {
-            return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
-        }
+    }
+
+    /** A text as JSON has it. */
+    static String quoted(String text) {
+        StringBuilder all = new StringBuilder("\"");
+        text.chars().forEach(c -> {
+            if (c == '"' || c == '\\') {
+                all.append('\\').append((char) c);
+            } else if (c < ' ') {
+                all.append(String.format("\\u%04x", c));
+            } else {
+                all.append((char) c);
+            }
+        });
+        return all.append('"').toString();
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -0,0 +1,174 @@
+package elderseam.cli;
+
+import elderseam.core.Json;
+import elderseam.rules.Example;
+import elderseam.rules.Extent;
+import elderseam.rules.Loader;
+import elderseam.rules.Names;
+import elderseam.rules.Sample;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import elderseam.settings.SettingsFault;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The operator's rules on a desk: what is wrong with them, what they cost, what a request would get. */
+@Command(name = "rules", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class, description = "The operator's rules.",
+        subcommands = {RulesCommand.Check.class, RulesCommand.Explain.class, RulesCommand.Eval.class, RulesCommand.Test.class})
+final class RulesCommand extends Commands.Group {
+    private static final int MOST_REQUEST = 1 << 20;
+
+    /** What all of them are given. */
+    static final class Given {
+        @Parameters(index = "0", paramLabel = "FILE", description = "a rules file, or settings whose [rules] names them")
+        private Path file;
+        @Option(names = "--config", paramLabel = "JSON", description = "the platform's configuration (RELAY_CONFIG), which names classes and tenants; without "
+                + "it each name that stands in a rule is taken for one")
+        private Path config;
+
+        Settings settings() throws IOException {
+            boolean settings = Settings.lines(file, "a rules file").stream().anyMatch(l -> l.strip().equals("[rules]"));
+            return settings ? Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS) : Settings.none();
+        }
+
+        private List<Path> files(Settings s) {
+            return s.tells(Keys.RULES_FILES) ? s.get(Keys.RULES_FILES).stream().map(Path::of).toList() : List.of(file);
+        }
+
+        Names names() throws IOException {
+            if (config == null) {
+                return Names.untold();
+            }
+            Json settings = Json.read(Files.readAllBytes(config)).at("settings");
+            return Names.of(names(settings.at("services")), names(settings.at("orgs")));
+        }
+
+        private static List<String> names(Json list) {
+            return list.items().stream().map(i -> i.at("name").text("")).toList();
+        }
+
+        Loader.Loaded read(Names names) throws IOException {
+            Settings s = settings();
+            return Loader.read(files(s), Extent.of(s), names);
+        }
+
+        String place() {
+            return file.toString();
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Tells every fault, each with its place; exits with 1 where there is one.")
+    static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Mixin
+        private Given given;
+
+        @Override
+        public Integer call() throws IOException {
+            Names names = given.names();
+            Loader.Loaded l = given.read(names);
+            l.warnings().forEach(w -> spec.commandLine().getErr().println("warning: " + w));
+            spec.commandLine().getOut().println(given.place() + ": no fault, " + l.book().rules() + " rules, at most " + l.bound() + " units a request"
+                    + (names.told() ? "" : " (classes and tenants not checked: no --config)"));
+            return 0;
+        }
+    }
+
+    @Command(name = "explain", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "The checked tree of an expression: of each part the type, and the most units that it may cost.")
+    static final class Explain implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Mixin
+        private Given given;
+        @Parameters(index = "1", paramLabel = "EXPR", description = "such as \"message.class == 'rent-payment'\"")
+        private String expression;
+
+        @Override
+        public Integer call() throws IOException {
+            spec.commandLine().getOut().println(Loader.explain(expression, Extent.of(given.settings())).stripTrailing());
+            return 0;
+        }
+    }
+
+    @Command(name = "eval", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Reads a request from standard input, as it is on the wire, and tells what it would get and why.")
+    static final class Eval implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Mixin
+        private Given given;
+        @Option(names = "--state", defaultValue = "", paramLabel = "WORDS", description = "how the dispatcher stands: rate=N share=N breaker=closed|half_open|open "
+                + "in_flight=N wait=S held=N remaining=S")
+        private String state;
+        @Option(names = "--at", paramLabel = "TIME", description = "such as 2026-12-31T08:00:00Z")
+        private String at;
+        @Option(names = "--json", description = "one JSON object")
+        private boolean json;
+
+        @Override
+        public Integer call() throws IOException {
+            Names names = given.names();
+            Loader.Loaded l = given.read(names);
+            List<String> faults = new ArrayList<>(), trace = new ArrayList<>();
+            Sample sample = Sample.read(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
+            sample.state(state, faults);
+            if (at != null) {
+                sample.at(at, faults);
+            }
+            if (!faults.isEmpty()) {
+                throw new SettingsFault(faults.stream().map(f -> "request: " + f).toList());
+            }
+            Map<String, String> got = Example.eval(l, names, sample, trace);
+            PrintWriter out = spec.commandLine().getOut();
+            if (json) {
+                StringBuilder all = new StringBuilder("{");
+                got.forEach((k, v) -> all.append(Commands.quoted(k)).append(':').append(Commands.quoted(v)).append(','));
+                out.println(all + "\"why\":[" + String.join(",", trace.stream().map(Commands::quoted).toList()) + "]}");
+            } else {
+                got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
+                trace.forEach(t -> out.println("  " + t));
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "test", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Runs the examples that stand beside the rules; exits with 1 where one does not hold.")
+    static final class Test implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Mixin
+        private Given given;
+
+        @Override
+        public Integer call() throws IOException {
+            Names names = given.names();
+            Loader.Loaded l = given.read(names);
+            int failed = 0;
+            for (Example e : l.examples()) {
+                List<String> wrong = e.run(l.book(), names);
+                failed += wrong.isEmpty() ? 0 : 1;
+                spec.commandLine().getOut().println((wrong.isEmpty() ? "holds  " : "FAILS  ") + e.name());
+                wrong.forEach(w -> spec.commandLine().getOut().println("  " + w));
+            }
+            spec.commandLine().getOut().println(l.examples().size() + " examples, " + failed + " failed");
+            return failed == 0 ? 0 : 1;
+        }
+    }
+}
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -41,7 +41,23 @@
     private static final String BATCH = "application/cloudevents-batch+json", ONE = "application/cloudevents+json";
 
     /** One event of a request: its message, or why there is none. */
-    record Item(String source, String id, Stream.Message message, int code, String fault) {
+    record Item(String source, String id, Stream.Message message, int code, String fault, CloudEvent event) {
+        Item(String source, String id, Stream.Message message, int code, String fault) {
+            this(source, id, message, code, fault, null);
+        }
+
+        /** What the event says of itself, extensions too. */
+        Map<String, String> attributes() {
+            Map<String, String> all = new HashMap<>();
+            event.getAttributeNames().stream().filter(n -> event.getAttribute(n) != null).forEach(n -> all.put(n, event.getAttribute(n).toString()));
+            event.getExtensionNames().forEach(n -> all.put(n, String.valueOf(event.getExtension(n))));
+            return all;
+        }
+
+        byte[] data() {
+            return event.getData() == null ? new byte[0] : event.getData().toBytes();
+        }
+
         static Item fault(int code, String words) {
             return new Item("", "", null, code, words);
         }
@@ -59,8 +75,15 @@
     private final List<String> classes, tenants;
     private final Sender.Settings settings;
     private final long rememberNs;
+    private final boolean ruled;
 
     EventCodec(Clock clock, SettingsMap settings, long rememberNs) {
+        this(clock, settings, rememberNs, false);
+    }
+
+    /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
+    EventCodec(Clock clock, SettingsMap settings, long rememberNs, boolean ruled) {
+        this.ruled = ruled;
         this.clock = clock;
         this.classes = settings.names("services");
         this.tenants = settings.names("orgs");
@@ -193,14 +216,14 @@
 
     private Item message(CloudEvent event, String source, String id) {
         int cls = classes.indexOf(event.getType());
-        if (cls < 0) {
+        if (cls < 0 && !ruled) {
             return new Item(source, id, null, 400, "type '" + event.getType() + "' is no class of message");
         }
         String destination = extension(event, "destination");
-        if (!destination.matches("\\d{1,18}")) {
+        if (!destination.matches("\\d{1,18}") && !(ruled && destination.isEmpty())) {
             return new Item(source, id, null, 400, "destination is missing or no number");
         }
-        long deadline = clock.now() + settings.classes().get(cls).deadlineNs();
+        long deadline = clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
         String told = extension(event, "deadline");
         if (!told.isEmpty()) {
             try {
@@ -220,8 +243,12 @@
         }
         String identity = identity(source, id);
         return new Item(source, id, new Stream.Message(identity, EventFront.NUMBER, cls,
-                tenants.indexOf(extension(event, "tenant")), Long.parseLong(destination), deadline,
-                clock.now() + rememberNs, false, false, identity, body), 0, "");
+                tenants.indexOf(extension(event, "tenant")), destination.isEmpty() ? -1 : Long.parseLong(destination), deadline,
+                clock.now() + rememberNs, false, false, identity, body), 0, "", event);
+    }
+
+    private long longest() {
+        return settings.classes().stream().mapToLong(Sender.MessageClass::deadlineNs).max().orElse(0);
     }
 
     private static String extension(CloudEvent event, String name) {
--- a/src/main/java/elderseam/cloudevents/EventFront.java
+++ b/src/main/java/elderseam/cloudevents/EventFront.java
@@ -7,8 +7,10 @@
 import elderseam.core.Clock;
 import elderseam.core.Front;
 import elderseam.core.Relay;
+import elderseam.core.Rulings;
 import elderseam.core.SettingsMap;
 import elderseam.core.Stream;
+import elderseam.http.RequestFacts;
 import elderseam.http.Server.Answerer;
 import elderseam.http.Server.Request;
 import java.util.ArrayList;
@@ -41,11 +43,14 @@
     private final EventCodec codec;
     private final WebHook webHook;
     private final Map<String, List<Consumer<Verdict>>> waiting = new HashMap<>();
+    private final Rulings rulings;
     private int waiters;
 
-    public EventFront(Clock clock, Relay relay, SettingsMap settings, EventConfig events) {
+    /** {@code rulings}: the operator's rules, or null. */
+    public EventFront(Clock clock, Relay relay, SettingsMap settings, EventConfig events, Rulings rulings) {
         this.relay = relay;
-        this.codec = new EventCodec(clock, settings, events.rememberNs());
+        this.rulings = rulings;
+        this.codec = new EventCodec(clock, settings, events.rememberNs(), rulings != null);
         this.webHook = new WebHook(events.origins(), events.rate());
     }
 
@@ -72,7 +77,7 @@
         }
         for (int i = 0; i < items.size(); i++) {
             int at = i;
-            take(items.get(i), verdict -> {
+            take(r, items.get(i), verdict -> {
                 verdicts[at] = verdict;
                 if (--open[0] == 0) {
                     answer(decoded, verdicts, to);
@@ -81,7 +86,7 @@
         }
     }
 
-    private void take(EventCodec.Item item, Consumer<Verdict> then) {
+    private void take(Request r, EventCodec.Item item, Consumer<Verdict> then) {
         if (item.message() == null) {
             then.accept(new Verdict(item.code(), "invalid", 0, item.fault()));
             return;
@@ -90,7 +95,12 @@
             then.accept(new Verdict(503, "refused", 1, "too many requests wait for their answers"));
             return;
         }
-        Answer answer = relay.take(item.message());
+        Rulings.Ruled ruled = rulings == null ? null : rulings.rule(item.message(), new RequestFacts("events", r, item.attributes(), item.data()));
+        if (ruled != null && !ruled.fault().isEmpty()) {
+            then.accept(new Verdict(400, "invalid", 0, ruled.fault()));
+            return;
+        }
+        Answer answer = ruled == null ? relay.take(item.message()) : ruled.take(relay);
         if (answer != null) {
             then.accept(Verdict.of(answer));
             return;
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -1,9 +1,11 @@
 package elderseam.core;
 
+import static elderseam.core.JournalRecords.HEAD;
+import static elderseam.core.JournalRecords.MOST;
+import static elderseam.core.JournalRecords.encode;
+
 import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -15,7 +17,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32;
 
 /**
  * What must outlast the process: each message taken on, its attempts, its end, and whether that was told. One file of
@@ -24,10 +25,10 @@
  * is what may count at any time. A message for which there is no room is not taken on.
  */
 public final class Journal implements AutoCloseable {
-    private static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6;
-    private static final int HEAD = 8, MOST = 256 << 10, WINDOW = 1 << 20;
+    private static final int WINDOW = 1 << 20;
     private static final int BOOKKEEPING = 512;   // kept free for the later records of each unfinished message
     private static final int MARGIN = 16 << 10;
+    private static final byte[] NONE = {};
 
     /** What the journal knows of a message. Times are wall-clock milliseconds; 0 is never. */
     private static final class Entry {
@@ -39,6 +40,7 @@
         long firstRanMs, outMs;     // first attempt that may have run; the one that is out
         Answer answer;
         boolean owed;
+        boolean joined;             // waits for the end of another that has its key
 
         Entry(byte front, long keepMs) {
             this.front = front;
@@ -54,6 +56,7 @@
     private final long cap;
     private final Clock clock;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final JournalKeys keys = new JournalKeys();
     private FileChannel channel;
     private long size;
     private long live;
@@ -81,14 +84,53 @@
 
     /** False where there is no room: then nothing was written. */
     public boolean taken(Stream.Message m) {
-        byte[] record = encode(m, clock.toWall(m.rememberUntil()));
+        byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
+        byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
+        if (2 * (live + record.length + key.length + BOOKKEEPING) > cap || key.length > 0 && !append(key) || !append(record)) {
+            return false;
+        }
+        keys.put(m.id(), m.same());
+        put(m, record.length + key.length);
+        return true;
+    }
+
+    /** Taken on as the same as another message, for whose end it waits; its body is not kept. False where there is no room. */
+    public boolean joined(Stream.Message m) {
+        byte[] record = JournalRecords.joined(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         if (2 * (live + record.length + BOOKKEEPING) > cap || !append(record)) {
             return false;
         }
         put(m, record.length);
+        entries.get(m.id()).joined = true;
         return true;
     }
 
+    /** Keeps what is needed to tell keys of that scheme again, for as long as one is remembered; false where there is no room. */
+    public boolean scheme(String name, byte[] text) {
+        byte[] record = JournalRecords.scheme(name, text);
+        if (keys.has(name, text)) {
+            keys.current(name, text);
+            return true;
+        }
+        if (2 * (live + record.length) > cap || !append(record)) {
+            return false;
+        }
+        keys.current(name, text);
+        live += record.length;
+        return true;
+    }
+
+    /** No scheme yields keys any more. */
+    public void noScheme() {
+        keys.none();
+    }
+
+    /** The schemes of which keys are remembered, or that were kept last, with their texts. */
+    public Map<String, byte[]> schemes() {
+        sweep();
+        return keys.schemes();
+    }
+
     private void put(Stream.Message m, int bytes) {
         Entry e = new Entry(m.front(), clock.toWall(m.rememberUntil()));
         e.message = m;
@@ -104,11 +146,7 @@
     /** An attempt is about to leave; false where that could not be written. */
     public boolean sent(String id) {
         long now = System.currentTimeMillis();
-        return append(encode(out -> {
-            out.writeByte(SENT);
-            out.writeUTF(id);
-            out.writeLong(now);
-        })) && sent(entries.get(id), now);
+        return append(encode(JournalRecords.SENT, id, out -> out.writeLong(now))) && sent(entries.get(id), now);
     }
 
     private static boolean sent(Entry e, long wallMs) {
@@ -120,11 +158,7 @@
     }
 
     public void result(String id, boolean mayHaveRun) {
-        append(encode(out -> {
-            out.writeByte(RESULT);
-            out.writeUTF(id);
-            out.writeBoolean(mayHaveRun);
-        }));
+        append(encode(JournalRecords.RESULT, id, out -> out.writeBoolean(mayHaveRun)));
         result(entries.get(id), mayHaveRun);
     }
 
@@ -151,20 +185,19 @@
 
     private void sweep() {
         long now = System.currentTimeMillis();
-        entries.values().removeIf(e -> e.answer != null && !e.owed && e.keepMs < now);
-        live = entries.values().stream().mapToLong(Entry::weight).sum();
-    }
-
-    private byte[] endRecord(String id, Entry e) {
-        return encode(out -> {
-            out.writeByte(ENDED);
-            out.writeUTF(id);
-            out.writeByte(e.front);
-            out.writeLong(e.keepMs);
-            out.writeByte(e.answer.kind().ordinal());
-            out.writeLong(e.answer.againNs());
-            out.writeBoolean(e.owed);
+        entries.entrySet().removeIf(x -> {
+            Entry e = x.getValue();
+            boolean past = e.answer != null && !e.owed && e.keepMs < now;
+            if (past) {
+                keys.remove(x.getKey());
+            }
+            return past;
         });
+        live = entries.values().stream().mapToLong(Entry::weight).sum() + keys.weight();
+    }
+
+    private static byte[] endRecord(String id, Entry e) {
+        return JournalRecords.ended(id, e.front, e.keepMs, e.answer, e.owed);
     }
 
     /** A refused message may come again, so its end is not remembered once it is told. */
@@ -178,15 +211,13 @@
     private void forget(String id) {
         Entry e = entries.remove(id);
         live -= e == null ? 0 : e.weight();
+        keys.remove(id);
     }
 
     public void told(String id) {
         Entry e = entries.get(id);
         if (e != null && e.owed) {
-            append(encode(out -> {
-                out.writeByte(TOLD);
-                out.writeUTF(id);
-            }));
+            append(encode(JournalRecords.TOLD, id, out -> { }));
             toldOf(id, e);
         }
     }
@@ -206,11 +237,22 @@
         return e == null ? null : e.answer;
     }
 
+    /** How a message with that key ended, where that is final: one that was refused may come again. Null for none. */
+    public Answer answerOf(String same) {
+        Answer a = keys.id(same) == null ? null : answer(keys.id(same));
+        return a == null || a.kind() == Answer.Kind.REFUSED ? null : a;
+    }
+
+    /** Those that wait for the end of another, as an earlier process left them. */
+    List<Stream.Message> joined() {
+        return entries.values().stream().filter(e -> e.joined && e.answer == null).map(e -> e.message).toList();
+    }
+
     /** The messages without an end, as an earlier process left them. */
     List<Stream> unfinished() {
         List<Stream> back = new ArrayList<>();
         entries.values().forEach(e -> {
-            if (e.answer == null) {
+            if (e.answer == null && !e.joined) {
                 result(e, e.outMs != 0);   // an attempt that was out may have run
                 Stream s = new Stream(e.message);
                 s.attempts = e.attempts;
@@ -242,29 +284,6 @@
 
     // ---------------------------------------------------------------- the file
 
-    private interface Writing {
-        void to(DataOutputStream out) throws IOException;
-    }
-
-    private static byte[] encode(Writing content) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
-        try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.writeLong(0);
-            content.to(out);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);   // memory doesn't fail so
-        }
-        byte[] record = bytes.toByteArray();
-        ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt(checksum(record, HEAD, record.length - HEAD));
-        return record;
-    }
-
-    private static int checksum(byte[] bytes, int from, int length) {
-        CRC32 crc = new CRC32();
-        crc.update(bytes, from, length);
-        return (int) crc.getValue();
-    }
-
     private boolean append(byte[] record) {
         try {
             if (size + record.length + Math.max(0, live) + record.length > cap) {
@@ -295,16 +314,25 @@
         FileChannel fresh = open(spare());
         long at = 0;
         try {
+            for (Map.Entry<String, byte[]> x : keys.schemes().entrySet()) {
+                at = writeAt(fresh, at, JournalRecords.scheme(x.getKey(), x.getValue()));
+            }
             for (Map.Entry<String, Entry> x : entries.entrySet()) {
                 Entry e = x.getValue();
+                if (keys.of(x.getKey()) != null) {
+                    at = writeAt(fresh, at, JournalRecords.keyed(x.getKey(), keys.of(x.getKey())));
+                }
                 if (e.answer != null) {
                     at = writeAt(fresh, at, endRecord(x.getKey(), e));
                     continue;
                 }
-                at = writeAt(fresh, at, encode(e.message, e.keepMs));
-                at = writeAt(fresh, at, encode(out -> {
-                    out.writeByte(STATE);
-                    out.writeUTF(x.getKey());
+                long deadlineMs = clock.toWall(e.message.deadline());
+                if (e.joined) {
+                    at = writeAt(fresh, at, JournalRecords.joined(e.message, deadlineMs, e.keepMs));
+                    continue;
+                }
+                at = writeAt(fresh, at, JournalRecords.taken(e.message, deadlineMs, e.keepMs));
+                at = writeAt(fresh, at, encode(JournalRecords.STATE, x.getKey(), out -> {
                     out.writeInt(e.attempts);
                     out.writeLong(e.firstRanMs);
                     out.writeLong(e.outMs);
@@ -326,24 +354,6 @@
         return at + record.length;
     }
 
-    private byte[] encode(Stream.Message m, long keepMs) {
-        return encode(out -> {
-            out.writeByte(TAKEN);
-            out.writeUTF(m.id());
-            out.writeByte(m.front());
-            out.writeInt(m.cls());
-            out.writeInt(m.tenant());
-            out.writeLong(m.destination());
-            out.writeLong(clock.toWall(m.deadline()));
-            out.writeLong(keepMs);
-            out.writeBoolean(m.again());
-            out.writeBoolean(m.heedsWindow());
-            out.writeUTF(m.key());
-            out.writeInt(m.body().length);
-            out.write(m.body());
-        });
-    }
-
     /** Reads by the window: a call for each record of a full file took longer than all the rest of a start. */
     private void replay() throws IOException {
         long length = channel.size();
@@ -356,7 +366,7 @@
                 break;
             }
             int from = window.position() + HEAD;
-            if (checksum(window.array(), from, bytes) != sum) {
+            if (JournalRecords.checksum(window.array(), from, bytes) != sum) {
                 break;
             }
             apply(new DataInputStream(new ByteArrayInputStream(window.array(), from, bytes)), bytes);
@@ -385,7 +395,14 @@
         String id = in.readUTF();
         Entry e = entries.get(id);
         switch (type) {
-            case TAKEN -> {
+            case JournalRecords.KEYED -> keys.put(id, in.readUTF());
+            case JournalRecords.SCHEME -> {
+                byte[] text = new byte[in.readInt()];
+                in.readFully(text);
+                keys.current(id, text);
+                live += HEAD + bytes;
+            }
+            case JournalRecords.TAKEN, JournalRecords.JOINED -> {
                 byte front = in.readByte();
                 int cls = in.readInt();
                 int tenant = in.readInt();
@@ -397,24 +414,25 @@
                 String key = in.readUTF();
                 byte[] body = new byte[in.readInt()];
                 in.readFully(body);
-                put(new Stream.Message(id, front, cls, tenant, destination, deadline, keep, again,
-                        heedsWindow, key, body),
+                String same = type == JournalRecords.JOINED ? in.readUTF() : keys.of(id) == null ? "" : keys.of(id);
+                put(new Stream.Message(id, front, cls, tenant, destination, deadline, keep, again, heedsWindow, key, body, same),
                         HEAD + bytes);
+                entries.get(id).joined = type == JournalRecords.JOINED;
             }
-            case SENT -> sent(e, in.readLong());
-            case RESULT -> result(e, in.readBoolean());
-            case STATE -> {
+            case JournalRecords.SENT -> sent(e, in.readLong());
+            case JournalRecords.RESULT -> result(e, in.readBoolean());
+            case JournalRecords.STATE -> {
                 e.attempts = in.readInt();
                 e.firstRanMs = in.readLong();
                 e.outMs = in.readLong();
             }
-            case ENDED -> {
+            case JournalRecords.ENDED -> {
                 Entry end = new Entry(in.readByte(), in.readLong());
                 end.answer = new Answer(Answer.Kind.values()[in.readByte()], in.readLong());
                 end.owed = in.readBoolean();
                 putEnd(id, end);
             }
-            case TOLD -> {
+            case JournalRecords.TOLD -> {
                 if (e != null) {
                     toldOf(id, e);
                 }
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -13,6 +13,8 @@
  * nothing here blocks.
  */
 public final class Relay {
+    /** A destination that no list has: what is to go there is never taken on, whatever any rule says. */
+    public static final long NOWHERE = 999_999_999_999_999_999L;
     private static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
     /** Kept of a stream's time to tell its end in: a thread that is late for so long still tells it in time. */
     private static final long TELLING_NS = 80 * Clock.MS;
@@ -26,6 +28,8 @@
     private final Map<Byte, Front> fronts = new HashMap<>();
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
+    private final Twins twins = new Twins();
+    private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
     private Runnable watch = () -> { };
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
@@ -69,7 +73,11 @@
             }
             s.owned = true;
             streams.put(s.id(), s);
+            if (!s.message.same().isEmpty()) {
+                twins.leads(s);
+            }
         }
+        journal.joined().forEach(this::rejoin);
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
         Recovery recovery = new Recovery(back, settings.classes(), settings.slots(), clock.now());
         boolean[] told = new boolean[1];
@@ -77,6 +85,17 @@
         recover(recovery, untold, told, ready);
     }
 
+    /** One that waited for another's end when the process ended: it waits on, or has that end, or the other had none and is gone. */
+    private void rejoin(Stream.Message m) {
+        Stream first = twins.first(m.same(), List.of());
+        if (first != null) {
+            join(m, first);
+        } else {
+            Answer known = journal.answerOf(m.same());
+            endJoined(m, known == null ? Answer.refused(ROOM_AGAIN_NS) : known);
+        }
+    }
+
     private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
         fronts.values().forEach(Front::tell);
         Runnable again = () -> recover(recovery, untold, told, ready);
@@ -122,25 +141,115 @@
      * is not told to the front again. While the thread is late it is taken on without a decision, which follows.
      */
     public Answer take(Stream.Message message) {
+        return take(message, List.of());
+    }
+
+    /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
+    public Answer take(Stream.Message message, List<String> also) {
         Answer known = journal.answer(message.id());
-        if (known != null || streams.containsKey(message.id())) {
+        if (known != null || holds(message.id())) {
             return known;
         }
+        if (!message.same().isEmpty() || !also.isEmpty()) {
+            known = answerOf(message.same(), also);
+            if (known != null) {
+                return known;
+            }
+            Stream first = twins.first(message.same(), also);
+            if (first != null) {
+                return room() && journal.joined(joining(message, first)) ? join(joining(message, first), first) : Answer.refused(ROOM_AGAIN_NS);
+            }
+        }
         Stream s = new Stream(message);
-        if (!facade.serves(clock.now(), message.destination()) || streams.size() >= settings.mostHeld()
-                || !journal.taken(message)) {
+        if (!facade.serves(clock.now(), message.destination()) || !room() || !journal.taken(message)) {
             return Answer.refused(ROOM_AGAIN_NS);
         }
         streams.put(s.id(), s);
+        if (!message.same().isEmpty()) {
+            twins.leads(s);
+        }
         facade.take(clock.now(), s);
         turn();
         s.owned = s.answer == null;
         return s.answer;
     }
 
+    private boolean room() {
+        return streams.size() + twins.size() < settings.mostHeld();
+    }
+
+    /** Whether that message is under way, or its end is remembered. */
+    public boolean knows(String id) {
+        return holds(id) || journal.answer(id) != null;
+    }
+
+    /** Whether a message with one of these keys is under way, or its end is remembered. */
+    public boolean knows(String same, List<String> also) {
+        return twins.first(same, also) != null || answerOf(same, also) != null;
+    }
+
+    private Answer answerOf(String same, List<String> also) {
+        Answer a = journal.answerOf(same);
+        for (int i = 0; a == null && i < also.size(); i++) {
+            a = journal.answerOf(also.get(i));
+        }
+        return a;
+    }
+
+    /** As one that waits for the first: by the key that the first is known by, and without a body, which nobody will send. */
+    private static Stream.Message joining(Stream.Message m, Stream first) {
+        return new Stream.Message(m.id(), m.front(), m.cls(), m.tenant(), m.destination(), m.deadline(), m.rememberUntil(), m.again(),
+                m.heedsWindow(), "", new byte[0], first.message.same());
+    }
+
+    private Answer join(Stream.Message m, Stream first) {
+        twins.joins(m, first);
+        long left = m.deadline() - clock.now();
+        loop.at(m.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)), () -> {
+            Answer answer = twins.expired(m, ROOM_AGAIN_NS);
+            if (answer != null) {
+                endJoined(m, answer);
+                fronts.get(m.front()).tell();
+            }
+        });
+        return null;
+    }
+
+    private void endJoined(Stream.Message m, Answer answer) {
+        journal.ended(m, answer, true);
+        fronts.get(m.front()).ended(m, answer);
+    }
+
     /** Whether that stream is held and not ended. */
     public boolean holds(String id) {
-        return streams.containsKey(id);
+        return streams.containsKey(id) || twins.waits(id);
+    }
+
+    /** Messages that may be held at once. */
+    public int mostHeld() {
+        return settings.mostHeld();
+    }
+
+    /** From now on the calls out are counted by destination too. */
+    public void countOut() {
+        outs = outs == null ? new HashMap<>() : outs;
+    }
+
+    /** Calls out to a destination, where they are counted. */
+    public int out(long destination) {
+        int[] n = outs == null ? null : outs.get(destination);
+        return n == null ? 0 : n[0];
+    }
+
+    private void out(long destination, int more) {
+        out += more;
+        if (outs != null) {
+            int[] n = outs.computeIfAbsent(destination, d -> new int[1]);
+            n[0] = Math.max(0, n[0] + more);   // those that were out before the counting began
+            if (n[0] == 0) {
+                outs.remove(destination);
+            }
+        }
     }
 
     /** The front has told the client the answer; nothing is owed any more. */
@@ -165,7 +274,7 @@
     }
 
     public int held() {
-        return streams.size();
+        return streams.size() + twins.size();
     }
 
     public int out() {
@@ -260,7 +369,7 @@
             return;
         }
         long start = clock.now(), left = s.message.deadline() - start;
-        out++;
+        out(s.message.destination(), 1);
         Leg leg = new Leg(s, s.attempts++, host, start);
         long by = Math.min(answerBy, s.message.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)));
         if (journal.sent(s.id())) {
@@ -293,7 +402,7 @@
 
         @Override
         public void ended(UpstreamRequest.End end) {
-            out--;
+            out(stream.message.destination(), -1);
             stream.out = null;
             journal.result(stream.id(), end.mayHaveRun());
             stream.mayHaveRun |= end.mayHaveRun();
@@ -329,5 +438,8 @@
         if (s.owned) {
             fronts.get(s.message.front()).ended(s.message, answer);
         }
+        if (!s.message.same().isEmpty()) {
+            twins.ended(s).forEach(m -> endJoined(m, answer));
+        }
     }
 }
--- a/src/main/java/elderseam/core/Stream.java
+++ b/src/main/java/elderseam/core/Stream.java
@@ -5,9 +5,15 @@
     /** What a front made of a message. {@code deadline} is absolute; {@code front} names who is owed the answer;
      *  {@code heedsWindow}: a refused one comes again only while a repeat would still be dropped;
      *  {@code key} (may be empty) and {@code body} are the front's own and pass through unread. Its end is
-     *  remembered until {@code rememberUntil}. */
+     *  remembered until {@code rememberUntil}. Two with the same {@code same} (empty: none) are one message, by an
+     *  operator's rule; it begins with the name of that rule's scheme and a colon. */
     public record Message(String id, byte front, int cls, int tenant, long destination, long deadline,
-                          long rememberUntil, boolean again, boolean heedsWindow, String key, byte[] body) {}
+                          long rememberUntil, boolean again, boolean heedsWindow, String key, byte[] body, String same) {
+        public Message(String id, byte front, int cls, int tenant, long destination, long deadline, long rememberUntil,
+                       boolean again, boolean heedsWindow, String key, byte[] body) {
+            this(id, front, cls, tenant, destination, deadline, rememberUntil, again, heedsWindow, key, body, "");
+        }
+    }
 
     public final Message message;
     int attempts;
--- /dev/null
+++ b/src/main/java/elderseam/http/RequestFacts.java
@@ -0,0 +1,28 @@
+package elderseam.http;
+
+import elderseam.core.Facts;
+import elderseam.http.Server.Request;
+import java.util.Map;
+
+/** What a request tells the operator's rules; {@code attributes} and {@code body} are those of its message. */
+public record RequestFacts(String front, Request request, Map<String, String> attributes, byte[] body) implements Facts {
+    @Override
+    public String method() {
+        return request.method();
+    }
+
+    @Override
+    public String path() {
+        return request.path();
+    }
+
+    @Override
+    public Map<String, String> headers() {
+        return new HeaderView(request.headers());
+    }
+
+    @Override
+    public String source() {
+        return request.source() == null || request.source().getAddress() == null ? "" : request.source().getAddress().getHostAddress();
+    }
+}
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -26,8 +26,12 @@
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
 public final class Server {
-    /** A request, read to its end. */
-    public record Request(String method, String path, HeaderMap headers, byte[] body) {
+    /** A request, read to its end; the source is null where it is not known. */
+    public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
+        public Request(String method, String path, HeaderMap headers, byte[] body) {
+            this(method, path, headers, body, null);
+        }
+
         public String header(String name) {
             String value = headers.getFirst(name);
             return value == null ? "" : value.strip();
@@ -157,7 +161,7 @@
             refuse(x, 400);
             return;
         }
-        Request r = new Request(x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body);
+        Request r = new Request(x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body, x.getSourceAddress());
         try {
             handler.handle(r, (code, headers, text) -> answer(x, code, headers, text));
         } catch (RuntimeException e) {   // one stream's fault must not reach another
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -4,10 +4,12 @@
 import elderseam.core.Clock;
 import elderseam.core.Front;
 import elderseam.core.Relay;
+import elderseam.core.Rulings;
 import elderseam.core.SettingsMap;
 import elderseam.core.Stream;
 import elderseam.http.Connections;
 import elderseam.http.Io;
+import elderseam.http.RequestFacts;
 import elderseam.http.Server.Answerer;
 import elderseam.http.Server.Request;
 import elderseam.http.UpstreamHost;
@@ -27,11 +29,14 @@
     private final Relay relay;
     private final Notices notices;
     private final List<String> classes, tenants;
+    private final Rulings rulings;
     private boolean ready, closing;
 
-    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings) {
+    /** {@code rulings}: the operator's rules, or null. */
+    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings, Rulings rulings) {
         this.clock = io.clock;
         this.relay = relay;
+        this.rulings = rulings;
         this.notices = new Notices(io, connections, platform, relay);
         this.classes = settings.names("services");
         this.tenants = settings.names("orgs");
@@ -47,7 +52,9 @@
             to.answer(f.code, Map.of(), f.words + "\n");
             return;
         }
-        Answer answer = relay.take((Stream.Message) read);
+        Stream.Message message = (Stream.Message) read;
+        Answer answer = rulings == null ? relay.take(message)
+                : rulings.rule(message, new RequestFacts("platform", r, Map.of(), r.body())).take(relay);
         if (answer == null) {
             to.answer(202, Map.of(), "");
             return;
--- /dev/null
+++ b/src/main/java/elderseam/rules/Calendar.java
@@ -0,0 +1,35 @@
+package elderseam.rules;
+
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZonedDateTime;
+
+/** The day and the time of day in a zone, worked out once a minute. */
+final class Calendar {
+    private static final long MINUTE_MS = 60_000;
+
+    private final ZoneId zone;
+    private long minute = Long.MIN_VALUE;
+    private ZonedDateTime at;
+
+    Calendar(ZoneId zone) {
+        this.zone = zone;
+    }
+
+    /** A part, by its number in {@link Vocabulary}; months and days from 1, Monday is 1; days left: 0 on the last of the month. */
+    long part(int name, long wallMs) {
+        if (Math.floorDiv(wallMs, MINUTE_MS) != minute) {
+            minute = Math.floorDiv(wallMs, MINUTE_MS);
+            at = Instant.ofEpochMilli(wallMs).atZone(zone);
+        }
+        return switch (name) {
+            case Vocabulary.YEAR -> at.getYear();
+            case Vocabulary.MONTH -> at.getMonthValue();
+            case Vocabulary.DAY -> at.getDayOfMonth();
+            case Vocabulary.HOUR -> at.getHour();
+            case Vocabulary.MINUTE -> at.getMinute();
+            case Vocabulary.WEEKDAY -> at.getDayOfWeek().getValue();
+            default -> at.toLocalDate().lengthOfMonth() - at.getDayOfMonth();
+        };
+    }
+}
--- a/src/main/java/elderseam/rules/lang/Bounds.java
+++ b/src/main/java/elderseam/rules/lang/Bounds.java
@@ -56,7 +56,7 @@
 
     private Bound of(Ast a) {
         Bound b = a instanceof Ast.Literal x ? new Bound(1, Cost.of(x.value())) : a instanceof Ast.Name x ? new Bound(1, size(x.name()))
-                : a instanceof Ast.Present x ? new Bound(2, Size.ONE) : a instanceof Ast.Select x ? select(x) : a instanceof Ast.Call x ? call(x) : a instanceof Ast.ListOf x ? list(x.items())
+                : a instanceof Ast.Present x ? new Bound(1 + of(x.name()).cost, Size.ONE) : a instanceof Ast.Select x ? select(x) : a instanceof Ast.Call x ? call(x) : a instanceof Ast.ListOf x ? list(x.items())
                 : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
         if (b.cost > budget && culprit == null) {
             culprit = a;
@@ -133,10 +133,11 @@
 
     private static Size result(String function, Size[] a) {
         return switch (function) {
-            case "+" -> new Size(Size.add(a[0].length(), a[1].length()), a[0].item() == null ? a[1].item() : Size.larger(a[0], a[1]).item());
+            case "+" -> new Size(Size.add(a[0].length(), a[1].length()), a[0].item() == null ? a[1].item() : Size.larger(a[0], a[1]).item(),
+                    Size.add(a[0].chars(), a[1].chars()), Size.add(a[0].whole(), a[1].whole()));
             case "[]" -> a[0].items();
-            case "string" -> Size.text(Math.max(64, a[0].length()));
-            case "bytes" -> Size.text(Size.mul(4, a[0].length()));
+            case "string" -> Size.text(Math.max(64, a[0].chars()));
+            case "bytes" -> Size.text(Size.mul(4, a[0].chars()));
             case "dyn" -> a[0];
             default -> Size.ONE;
         };
--- a/src/main/java/elderseam/rules/lang/Checker.java
+++ b/src/main/java/elderseam/rules/lang/Checker.java
@@ -163,6 +163,9 @@
         if (x.function().equals("+") && args.get(0) instanceof Type.ListType && args.get(1) instanceof Type.ListType) {
             return Type.common(args);
         }
+        if (x.function().equals("+") && args.contains(DYN) && args.stream().allMatch(t -> t == DYN || t instanceof Type.ListType)) {
+            return DYN;
+        }
         List<Signatures.Signature> all = Signatures.of(x.function(), x.method());
         if (all.isEmpty()) {
             return fault(x, "no such " + (x.method() ? "method" : "function") + " '" + x.function() + "'");
@@ -181,7 +184,7 @@
             return fault(x, name(x) + " of " + words(args) + ", expected " + String.join(" or ", all.stream().map(s -> words(s.takes())).distinct().toList()));
         }
         constants(x);
-        return args.contains(DYN) && x.function().equals("+") ? DYN : Type.common(gives);
+        return Type.common(gives);
     }
 
     private static String name(Ast.Call x) {
--- a/src/main/java/elderseam/rules/lang/Cost.java
+++ b/src/main/java/elderseam/rules/lang/Cost.java
@@ -16,11 +16,11 @@
             case "+" -> add(1, add(a[0].whole(), a[1].whole()));
             case "in" -> add(1, a[1].item() == null ? a[0].whole() : mul(a[1].length(), add(a[0].whole(), a[1].items().whole())));
             case "[]" -> add(1, a[1].whole());
-            case "startsWith", "endsWith" -> add(1, a[1].whole());
-            case "contains" -> add(1, add(a[0].whole(), mul(a[0].length(), a[1].length()) / 16));
-            case "matches" -> add(1, mul(1 + a[0].length(), 1 + a[1].length()) / 4);
-            case "size" -> a[0].item() == null ? a[0].whole() : 1;
-            case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" -> add(8, a[0].whole());
+            case "startsWith", "endsWith" -> add(1, a[1].texts());
+            case "contains" -> add(1, add(a[0].texts(), mul(a[0].chars(), a[1].chars()) / 16));
+            case "matches" -> add(1, mul(1 + a[0].chars(), 1 + a[1].chars()) / 4);
+            case "size" -> a[0].texts();
+            case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" -> add(8, a[0].texts());
             default -> function.startsWith("get") ? 20 : 1;
         };
     }
--- a/src/main/java/elderseam/rules/lang/Expression.java
+++ b/src/main/java/elderseam/rules/lang/Expression.java
@@ -71,6 +71,19 @@
         return text;
     }
 
+    /** The names that it uses, but those of its macros' variables. */
+    public java.util.Set<String> names() {
+        java.util.Set<String> all = new java.util.TreeSet<>();
+        List<Ast> nodes = new ArrayList<>(List.of(tree));
+        for (int i = 0; i < nodes.size(); i++) {
+            nodes.addAll(Ast.below(nodes.get(i)));
+            if (nodes.get(i) instanceof Ast.Name n && scope.get(n.name()) != null) {
+                all.add(n.name());
+            }
+        }
+        return all;
+    }
+
     /** What it gives wherever it gives something, if that is known here: the literals at the ends of its {@code ?:}; else null. */
     public List<Object> outcomes() {
         List<Object> all = new ArrayList<>();
--- a/src/main/java/elderseam/rules/lang/Planner.java
+++ b/src/main/java/elderseam/rules/lang/Planner.java
@@ -104,7 +104,8 @@
                 return is(args.get(0), STRING) ? Texts.matches(any(args.get(0)), patterns.get(c)) : null;
             }
             case "in" -> {
-                return constant(args.get(1)) && is(args.get(0), STRING) ? Texts.among(any(args.get(0)), folded(args.get(1))) : null;
+                Object list = constant(args.get(1)) && is(args.get(0), STRING) ? folded(args.get(1)) : null;
+                return list instanceof List<?> l ? Texts.among(any(args.get(0)), l) : null;   // one that ends in an error does so each time
             }
             default -> {
                 return null;
--- a/src/main/java/elderseam/rules/lang/Size.java
+++ b/src/main/java/elderseam/rules/lang/Size.java
@@ -1,22 +1,34 @@
 package elderseam.rules.lang;
 
 /**
- * How large a value may be at the most: characters of a string, octets, items of a list, entries of a map; {@code item}: the largest
- * of its items, keys and values alike, null where it has none.
+ * How large a value may be at the most: {@code length}: characters of a string, octets, items of a list, entries of a map; {@code item}:
+ * the largest of its items, keys and values alike, null where it has none; {@code chars}: its characters, where it may be a string;
+ * {@code most}: units of looking at all of it, where that is known to be less than the rest would let one think.
  */
-public record Size(long length, Size item) {
+public record Size(long length, Size item, long chars, long most) {
     static final long MOST = 1L << 50;
-    static final Size ONE = new Size(1, null);
-    static final Size NONE = new Size(0, null);
+    public static final Size ONE = new Size(1, null, 1, MOST);
+    static final Size NONE = new Size(0, null, 0, MOST);
 
     /** A text of so many characters. */
     public static Size text(long length) {
-        return new Size(Math.min(MOST, length), null);
+        long most = Math.min(MOST, length);
+        return new Size(most, null, most, MOST);
     }
 
     /** A list, or a map, of so many. */
     public static Size list(long length, Size item) {
-        return new Size(Math.min(MOST, length), item);
+        return new Size(Math.min(MOST, length), item, 0, MOST);
+    }
+
+    /** A text of so many characters, or lists and maps of such that hold so many items in all, {@code deep} in one another. */
+    public static Size any(long chars, long items, int deep) {
+        long most = mul(1 + items, 2 + chars / 16);
+        Size s = text(chars);
+        for (int i = 0; i < deep; i++) {
+            s = new Size(items, s, chars, most);
+        }
+        return s;
     }
 
     Size items() {
@@ -25,11 +37,17 @@
 
     /** Units of looking at all of it: a text in sixteens, a list item by item. */
     long whole() {
-        return item == null ? 1 + length / 16 : add(1, mul(length, item.whole()));
+        return item == null ? 1 + length / 16 : Math.min(most, Math.max(texts(), add(1, mul(length, item.whole()))));
+    }
+
+    /** The same, of a text. */
+    long texts() {
+        return 1 + chars / 16;
     }
 
     static Size larger(Size a, Size b) {
-        return new Size(Math.max(a.length, b.length), a.item == null ? b.item : b.item == null ? a.item : larger(a.item, b.item));
+        return new Size(Math.max(a.length, b.length), a.item == null ? b.item : b.item == null ? a.item : larger(a.item, b.item),
+                Math.max(a.chars, b.chars), Math.max(a.most, b.most));
     }
 
     static long add(long a, long b) {
--- a/src/main/java/elderseam/rules/lang/Texts.java
+++ b/src/main/java/elderseam/rules/lang/Texts.java
@@ -48,14 +48,14 @@
     }
 
     /** In a constant list; one of strings alone is looked up by hash. */
-    static Truth among(Any x, Object list) {
-        if (!(list instanceof List<?> l) || !l.stream().allMatch(String.class::isInstance)) {
+    static Truth among(Any x, List<?> list) {
+        if (!list.stream().allMatch(String.class::isInstance)) {
             return in -> {
                 Object v = x.of(in);
                 return in.error == null && generic(in, "in", v, list);
             };
         }
-        Set<Object> all = new HashSet<>(l);
+        Set<Object> all = new HashSet<>(list);
         return in -> {
             String a = text(in, x);
             return a != null && !all.isEmpty() && in.spend(2 + a.length() / 16) && all.contains(a);
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -34,10 +34,24 @@
     public static final Key<String> GOSSIP_WEIGH = Key.text("gossip", "weigh", "on, or off: what others say is heard and passed on, and weighs nothing",
             "on|off", "on", true);
 
+    public static final Key<List<String>> RULES_FILES = Key.words("rules", "files", "paths apart by spaces", "[^\\x00-\\x20,]{1,4096}", true);
+    public static final Key<String> RULES_ZONE = new Key<>("rules", "zone", "a time zone such as Africa/Windhoek", "UTC", true,
+            text -> java.time.ZoneId.getAvailableZoneIds().contains(text) ? text : null);
+    public static final Key<Long> RULES_BODY_BYTES = Key.whole("rules", "body_bytes", "bytes", 1, 262_144, 65_536, true);
+    public static final Key<Long> RULES_BODY_DEPTH = Key.whole("rules", "body_depth", "levels", 1, 200, 16, true);
+    public static final Key<Long> RULES_FIELD_CHARS = Key.whole("rules", "field_chars", "characters", 1, 65_536, 1_024, true);
+    public static final Key<Long> RULES_LIST_ITEMS = Key.whole("rules", "list_items", "items", 1, 10_000, 32, true);
+    public static final Key<Long> RULES_BUDGET = Key.whole("rules", "budget", "units of an expression", 100, 10_000_000, 20_000, true);
+    public static final Key<Long> RULES_REQUEST_BUDGET = Key.whole("rules", "request_budget", "units of all that one request may meet", 100, 1_000_000_000,
+            2_000_000, true);
+    public static final Key<Long> RULES_WINDOW_S = Key.whole("rules", "window_s", "seconds", 1, 3_600, 60, true);
+    public static final Key<Long> RULES_REMEMBER_S = Key.whole("rules", "remember_s", "seconds", 1, 2_592_000, 3_600, true);
+
     public static final List<Key<?>> ALL = List.of(EVENTS_LISTEN, EVENTS_REMEMBER_S, EVENTS_WEBHOOK_ORIGINS, EVENTS_WEBHOOK_RATE,
             ACME_DIRECTORY, ACME_NAMES, ACME_FOLDER, ACME_CHALLENGES,
             GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
-            GOSSIP_WEIGH);
+            GOSSIP_WEIGH, RULES_FILES, RULES_ZONE, RULES_BODY_BYTES, RULES_BODY_DEPTH, RULES_FIELD_CHARS, RULES_LIST_ITEMS, RULES_BUDGET, RULES_REQUEST_BUDGET,
+            RULES_WINDOW_S, RULES_REMEMBER_S);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
             new Contradiction(ACME_DIRECTORY, "is set while events.listen is off, allowed: with a front that serves",
--- a/src/test/java/elderseam/rules/lang/ExpressionTest.java
+++ b/src/test/java/elderseam/rules/lang/ExpressionTest.java
@@ -45,7 +45,7 @@
     @ValueSource(strings = {"true", "!false", "1 + 2 * 3 == 7", "(1 + 2) * 3 == 9", "7 / 2 == 3", "-7 / 2 == -3", "-7 % 3 == -1", "7.0 / 2.0 == 3.5",
         "0x10 == 16", "0xffu == 255u", "1e3 == 1000.0", ".5 == 0.5", "-9223372036854775808 < 0", "18446744073709551615u > 0u",
         "1 == 1 ? true : false", "b ? i == 7 : false", "1 < 2 && 2 <= 2 && 3 > 2 && 3 >= 3", "'a' < 'b'", "'a' + 'b' == 'ab'",
-        "\"\\u00e9\" == 'é'", "'''a'b''' == \"a'b\"", "r'\\n' == '\\\\n'", "b'\\xff' != b'a'", "b'é' == b'\\xc3\\xa9'", "size('héllo') == 5", "size(b'é') == 2",
+        "\"\\u00e9\" == 'é'", "'''a'b''' == \"a'b\"", "r'\\n' == '\\\\n'", "b'\\xff' != b'a'", "b'é' == b'\\xc3\\xa9'", "size('héllo') == 5", "x + '!' == 'any!'", "dyn([1]) + [2] == [1, 2]", "size('a' + x) == 4", "size(b'é') == 2",
         "'\\U0001F600'.size() == 1", "size([1, 2, 3]) == 3", "{'a': 1}.size() == 1", "2 in [1, 2]", "!(4 in [1, 2])", "'a' in {'a': 1}", "[1, 2][1] == 2",
         "{'a': 1}['a'] == 1", "{'a': 1}.a == 1", "has(h.org)", "!has(h.none)", "h.org == 'erongo'", "h['month'] == '12'", "s.startsWith('re')",
         "s.endsWith('nt')", "s.contains('en')", "s.matches('^r.*t$')", "matches('abc', 'b')", "[1, 2] + [3] == [1, 2, 3]", "[1, 2] != [2, 1]",
@@ -72,7 +72,7 @@
         "0u - 1u|overflow", "18446744073709551615u + 1u|overflow", "18446744073709551615u * 2u|overflow", "-(-9223372036854775808)|overflow",
         "-9223372036854775808 / -1|overflow", "1 / 0|division by zero", "1u % 0u|division by zero", "[1][1]|index out of bounds",
         "[1][-1]|index out of bounds", "h.none|no such key", "{'a': 1}['b']|no such key", "{1: 2, 1u: 3}|a key twice in one map", "gone|no value for a name",
-        "gone && true|no value for a name", "int('x')|can't be converted to int", "uint(-1)|out of range", "int(1e30)|out of range", "int(0.0 / 0.0)|out of range",
+        "gone && true|no value for a name", "s in ['a', string(int('x'))]|can't be converted to int", "int('x')|can't be converted to int", "uint(-1)|out of range", "int(1e30)|out of range", "int(0.0 / 0.0)|out of range",
         "bool('yes')|can't be converted to bool", "x < 1|no such overload", "x.a|no such overload", "x - 1|no such overload", "dyn(1) && true|no such overload",
         "t.getHours(s)|no such time zone", "string(b'\\xff')|octets that are no UTF-8", "[1, 0].map(n, 1 / n)|division by zero",
         "[1, 0].exists(n, 1 / n == 5)|division by zero", "t + duration('80000000h')|out of range", "timestamp('9999-12-31T23:59:59Z') + duration('1s')|out of range"})
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -399,6 +399,12 @@
 
     /** Starts the program and waits until it serves. */
     void start() throws Exception {
+        launch();
+        front('c');
+    }
+
+    /** Starts the program, which need not come to serve. */
+    void launch() throws Exception {
         configure("");
         Files.writeString(folder.resolve("elderseam.ini"), "[events]\nlisten = " + listen + "\nremember_s = 60\n" + events);
         ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + SOCKETS + "; exec nice -n " + nice + " \"$@\"", "sh",
@@ -442,7 +448,6 @@
         });
         reader.setDaemon(true);
         reader.start();
-        front('c');
     }
 
     /** Writes the configuration, or these words in its place. */
