--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint run figures
+.PHONY: build test lint run figures bench fuzz long
 
 build:
 	mvn -q -B -DskipTests package
@@ -19,3 +19,16 @@
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipFigures
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
+
+# What rules cost, by JMH; WORDS as JMH takes them (a part of a benchmark's name, -p rules=10, -rf json).
+bench: build
+	mvn -q -B -Pbench test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) org.openjdk.jmh.Main -prof gc $(WORDS)
+
+# Fuzzes the rules' parser, evaluator, JSON reader and files for a minute each; new findings become seeds that tests replay.
+fuzz:
+	for target in expressions bodies files; do JAZZER_FUZZ=1 mvn -q -B test -Dtest="RulesFuzzTest#$$target" || exit 1; done
+
+# The differential test with 100,000 cases instead of 2,000.
+long:
+	mvn -q -B test -Dtest=DifferentialTest -Drules.cases=100000
--- a/src/main/java/elderseam/RulesWiring.java
+++ b/src/main/java/elderseam/RulesWiring.java
@@ -39,6 +39,7 @@
     private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
     private long breakersAt = Long.MIN_VALUE / 2;
     private volatile int earlier;
+    private volatile Scheme current;   // read by the signal's thread
 
     /** Reads, checks and tests the rules, before any socket opens; faults end the start. */
     RulesWiring(Io io, SettingsMap settings, Settings operator, Relay relay, Journal journal) throws IOException {
@@ -50,6 +51,9 @@
         this.decider = new Decider(module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(), module.maxRetryAfterNs(), module.mostHeld(), this,
                 words -> System.err.println(words));
         Loader.Loaded loaded = load(operator);
+        if (loaded != null) {
+            loaded.warnings().forEach(System.err::println);
+        }
         for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
             Scheme scheme = new Scheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
             if (loaded == null || !scheme.equals(loaded.book().scheme())) {
@@ -79,6 +83,7 @@
         }
         decider.put(loaded == null ? null : loaded.book());
         earlier = decider.remembered();
+        current = scheme;
         System.err.println("rules: " + (loaded == null ? "none" : loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
                 + loaded.bound() + " units a request") + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
         return true;
@@ -96,7 +101,8 @@
         if (loaded != null) {
             loaded.warnings().forEach(System.err::println);
         }
-        if (earlier >= Decider.MOST_REMEMBERED) {
+        Scheme next = loaded == null ? null : loaded.book().scheme();
+        if (earlier >= Decider.MOST_REMEMBERED && current != null && !current.equals(next)) {
             throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: " + Decider.MOST_REMEMBERED
                     + "; new ones within rules.remember_s of the oldest");
         }
--- a/src/main/java/elderseam/core/JournalKeys.java
+++ b/src/main/java/elderseam/core/JournalKeys.java
@@ -40,8 +40,9 @@
         return Arrays.equals(schemes.get(scheme), text);
     }
 
-    /** The scheme of keys that come from now on. */
+    /** The scheme of keys that come from now on; it stands last. */
     void current(String scheme, byte[] text) {
+        schemes.remove(scheme);
         schemes.put(scheme, text);
         current = scheme;
     }
@@ -50,10 +51,10 @@
         current = "";
     }
 
-    /** The schemes that count: others are forgotten. */
+    /** The schemes that count, the present one last: others are forgotten. */
     Map<String, byte[]> schemes() {
         schemes.keySet().removeIf(s -> !s.equals(current) && bySame.keySet().stream().noneMatch(same -> same.startsWith(s + ":")));
-        return Map.copyOf(schemes);
+        return new LinkedHashMap<>(schemes);
     }
 
     /** Bytes that the schemes take of the file. */
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -428,10 +428,13 @@
         }
     }
 
-    private void end(Stream s, Answer answer) {
+    private void end(Stream s, Answer decided) {
         if (s == null || s.answer != null) {
             return;
         }
+        // with a key, a copy may come as a class that must not run twice: what may have run is not to come again
+        boolean unsure = decided.kind() == Answer.Kind.REFUSED && s.mayHaveRun && !s.message.same().isEmpty();
+        Answer answer = unsure ? Answer.FAILED : decided;
         s.answer = answer;
         streams.remove(s.id());
         journal.ended(s.message, answer, s.owned);
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -20,11 +20,16 @@
     Path folder;
 
     private static Ended run(String... args) throws Exception {
+        return given("", args);
+    }
+
+    private static Ended given(String input, String... args) throws Exception {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "elderseam.Main"));
         command.addAll(List.of(args));
         Path err = Files.createTempFile("err", "");
         Process p = new ProcessBuilder(command).redirectError(err.toFile()).start();
+        p.getOutputStream().write(input.getBytes());
         p.getOutputStream().close();
         String out = new String(p.getInputStream().readAllBytes());
         Ended ended = new Ended(p.waitFor(), out, Files.readString(err));
@@ -35,7 +40,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "nonsense", "serve --nonsense", "serve a b", "config", "config check", "config check a b",
         "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more", "keys", "keys new", "keys new f --name", "keys list", "gossip", "gossip trial --instances 2",
-        "gossip trial --liars 9", "gossip watch"})
+        "gossip trial --liars 9", "gossip watch", "rules", "rules check", "rules explain f", "rules eval", "rules test f g", "rules check f --nonsense"})
     void aUsageFaultExitsWith2(String words) throws Exception {
         Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
         assertEquals(2, e.code, e.err);
@@ -46,7 +51,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"--help", "serve --help", "simhost --help", "authority --help", "train --help", "config --help",
         "config check --help", "config show --help", "keys --help", "keys new --help", "keys list --help", "gossip --help",
-        "gossip trial --help", "gossip watch --help"})
+        "gossip trial --help", "gossip watch --help", "rules --help", "rules check --help", "rules explain --help", "rules eval --help", "rules test --help"})
     void helpIsEverywhere(String words) throws Exception {
         Ended e = run(words.split(" "));
         assertEquals(0, e.code, e.err);
@@ -110,4 +115,39 @@
         assertTrue(json.code == 0 && json.out.startsWith("{\"instances\":3,") && json.out.lines().count() == 1, json.toString());
         assertEquals(2, run("gossip", "trial", "--instances", "2").code);
     }
+
+    /** On a desk: faults with places, the tree of an expression, what a request would get, examples that hold and one that does not. */
+    @Test
+    void rulesOnADesk() throws Exception {
+        String rules = Files.writeString(folder.resolve("a.rules"), """
+                [rule flood]
+                when = message.class == 'rent-payment' && state.rate > 3.0 * state.share
+                class = 'job-order'
+                [example flood]
+                request = POST /rent-payment
+                state = rate=10 share=3
+                expect_class = job-order
+                [example calm]
+                request = POST /rent-payment
+                state = rate=8 share=3
+                expect_class = job-order
+                """).toString();
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"settings\":{\"services\":[{\"name\":\"rent-payment\"}],\"orgs\":[]}}");
+        Ended check = run("rules", "check", rules);
+        assertTrue(check.code == 0 && check.out.contains("no fault, 1 rules, at most"), check.toString());
+        Ended named = run("rules", "check", rules, "--config", config.toString());
+        assertTrue(named.code == 1 && named.err.contains("a.rules:3:9: rule.flood.class: 'job-order' is no class, allowed: rent-payment"), named.toString());
+        Ended test = run("rules", "test", rules);
+        assertTrue(test.code == 1 && test.out.contains("holds  flood") && test.out.contains("FAILS  calm") && test.out.contains("2 examples, 1 failed"), test.toString());
+        Ended explain = run("rules", "explain", rules, "size(request.path) > 3");
+        assertTrue(explain.code == 0 && explain.out.contains("gives bool, at most 70 of 20000 units"), explain.toString());
+        Ended eval = given("POST /rent-payment\r\nX-Org: a\r\n\r\nbody", "rules", "eval", rules, "--state", "rate=10 share=1", "--json");
+        assertTrue(eval.code == 0 && eval.out.contains("\"class\":\"job-order\"") && eval.out.contains("rule flood matches"), eval.toString());
+        Ended none = given("nonsense", "rules", "eval", rules, "--state", "rate=fast");
+        assertTrue(none.code == 1 && none.err.contains("'nonsense' is no first line of a request") && none.err.contains("'rate=fast' is no state"), none.toString());
+        Path ini = Files.writeString(folder.resolve("e.ini"), "[rules]\nfiles = " + rules + "\nbudget = 100\n");
+        Ended small = run("rules", "check", ini.toString());
+        assertEquals(0, small.code, small.err);
+        assertTrue(run("rules", "explain", ini.toString(), "request.path.contains('abcdefghij')").err.contains("allowed: 100"));
+    }
 }
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -127,4 +127,54 @@
             assertTrue(files.mapToLong(f -> f.toFile().length()).sum() <= CAP);
         }
     }
+
+    private Stream.Message keyed(String id, String same, long liveS) {
+        Stream.Message m = message(id, 50, liveS);
+        return new Stream.Message(id, m.front(), m.cls(), m.tenant(), m.destination(), m.deadline(), m.rememberUntil(), false, false, "", m.body(), same);
+    }
+
+    /** Keys, copies that wait and the schemes in use outlast compaction and restart; a refused one's key is free again. */
+    @Test
+    void keysComeBackAsTheyWere() throws IOException {
+        assertTrue(journal.scheme("s0", new byte[300]) && journal.scheme("s1", new byte[300]));
+        Stream.Message delivered = keyed("d", "s1:d", 60), refused = keyed("r", "s1:r", 60), pending = keyed("p", "s1:p", 60);
+        for (Stream.Message m : List.of(delivered, refused, pending)) {
+            assertTrue(journal.taken(m));
+        }
+        assertTrue(journal.joined(keyed("copy", "s1:p", 60)));
+        journal.ended(delivered, Answer.DELIVERED, true);
+        journal.ended(refused, Answer.refused(1), false);
+        assertTrue(journal.scheme("s2", new byte[400]));
+        for (int round = 0; round < 3; round++) {
+            assertEquals(Answer.DELIVERED, journal.answerOf("s1:d"));
+            assertNull(journal.answerOf("s1:r"));
+            assertNull(journal.answerOf("s1:p"));
+            assertEquals(List.of("p s1:p"), journal.unfinished().stream().map(x -> x.id() + " " + x.message.same()).toList());
+            assertEquals(List.of("copy s1:p"), journal.joined().stream().map(x -> x.id() + " " + x.same()).toList());
+            assertEquals(java.util.Set.of("s1", "s2"), journal.schemes().keySet());
+            if (round == 1) {
+                churn();
+            }
+            again();
+        }
+        journal.ended(pending, Answer.FAILED, false);
+        journal.ended(keyed("copy", "s1:p", 60), Answer.FAILED, false);
+        assertEquals(Answer.FAILED, journal.answerOf("s1:p"));
+        assertTrue(journal.joined().isEmpty());
+    }
+
+    /** Once the last end with a key of it is no longer remembered, a scheme is gone, its bytes with it. */
+    @Test
+    void aSchemeIsForgottenWithItsLastKey() throws IOException {
+        assertTrue(journal.scheme("old", new byte[20_000]));
+        Stream.Message m = keyed("m", "old:1", -1);
+        assertTrue(journal.taken(m));
+        journal.ended(m, Answer.DELIVERED, false);
+        assertTrue(journal.scheme("new", new byte[10]));
+        assertEquals(java.util.Set.of("new"), journal.schemes().keySet());
+        assertNull(journal.answerOf("old:1"));
+        churn();
+        assertTrue(!journal.scheme("huge", new byte[120_000]), "no room for it");
+        assertEquals(java.util.Set.of("new"), journal.schemes().keySet());
+    }
 }
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -182,4 +182,40 @@
         attempts.forEach(a -> a.ended(new End(Progress.ANSWERED, Status.NO_SLOT, 0, 0, 0)));
         assertEquals(1, soon.size());
     }
+
+    private Answer take(String id, String same, String... also) {
+        long by = clock.now() + 9_000 * Clock.MS;
+        return relay.take(new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, false, "", new byte[0], same), List.of(also));
+    }
+
+    /** Those with one key: one call; its end is each one's end, and a later one's at once. */
+    @Test
+    void copiesEndWithTheirFirst() {
+        assertNull(take("a", "s:1"));
+        assertNull(take("b", "s:1"));
+        assertNull(take("c", "t:1", "s:1"), "known by an earlier scheme's key");
+        assertNull(take("b", "s:1"), "a repeat of a copy's own id");
+        assertNull(take("x", "s:2"));
+        assertEquals(2, out.size());
+        assertEquals(4, relay.held());
+        out.get(0).accept(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
+        assertEquals(List.of("a DELIVERED", "b DELIVERED", "c DELIVERED"), ended);
+        assertEquals(Answer.DELIVERED, take("d", "s:1"));
+        assertEquals(Answer.DELIVERED, take("e", "u:1", "s:1"));
+        assertTrue(relay.knows("s:1", List.of()) && relay.knows("b") && !relay.knows("s:3", List.of()));
+        assertEquals(2, out.size());
+    }
+
+    /** Copies count as held, so that a clump with one key is bounded too. */
+    @Test
+    void copiesCountAsHeld() {
+        for (int i = 0; i < 64; i++) {
+            assertNull(take("m" + i, "s:1"));
+        }
+        assertEquals(Answer.Kind.REFUSED, take("above", "s:1").kind());
+        assertEquals(Answer.Kind.REFUSED, take("another", "s:2").kind());
+        out.get(0).accept(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
+        assertEquals(64, ended.size());
+        assertEquals(0, relay.held());
+    }
 }
--- a/src/test/java/elderseam/scenario/RulesTest.java
+++ b/src/test/java/elderseam/scenario/RulesTest.java
@@ -84,6 +84,35 @@
                 """);
     }
 
+    /** Safe to repeat, and so refused after it may have run: with a key it is failed, since a copy may be a payment. */
+    @Test
+    void aSafeCopyThatMayHaveRunIsNotRefused() throws Exception {
+        plays(LEASE, """
+                e send {event} ce-type: status-update; ce-id: one; ce-deadline: {late} | {rent}
+                h1 expect ce-id: one
+                h1 send 500
+                h1 expect ce-id: one
+                h1 send 503; Retry-After: 9
+                e expect 502; failed
+                e send {event} ce-type: rent-payment; ce-id: two | {rent}
+                e expect 502; failed
+                h1 wait quiet 200
+                """.replace("{late}", java.time.Instant.now().plusMillis(4_500).toString()));
+    }
+
+    /** A first that is refused takes its copies with it, though they had more time: none of them ran, and each may come again. */
+    @Test
+    void copiesOfARefusedFirstAreRefused() throws Exception {
+        plays(LEASE, """
+                e1 send {event} ce-type: rent-payment; ce-id: one; ce-deadline: {late} | {rent}
+                h1 expect ce-id: one
+                h1 send 429; Retry-After: 9
+                e2 send {event} ce-type: rent-payment; ce-id: two | {rent}
+                e1 expect 503; refused
+                e2 expect 503; refused
+                """.replace("{late}", java.time.Instant.now().plusMillis(3_500).toString()));
+    }
+
     /** What was refused took no effect, and may come again under the same key. */
     @Test
     void whatWasRefusedMayComeAgain() throws Exception {
