--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipFigures
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.RulesCost
 
 # What rules cost, by JMH; WORDS as JMH takes them (a part of a benchmark's name, -p rules=10, -rf json).
 bench: build
--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -41,7 +41,9 @@
     private final Discovery discovery;
     private final Path settingsFile;
     private final Settings settings;
-    private final Rules rules;   // null while there are none
+    private final Journal journal;
+    private volatile Rules rules;         // null while there are none
+    private EventsWiring second; // null while it is off
     private Gossip gossip;       // null while it is off
     private final List<Server> servers = new ArrayList<>();
     private final long born;
@@ -88,6 +90,7 @@
         this.settingsFile = settingsFile;
         this.config = config;
         this.io = io;
+        this.journal = journal;
         this.born = born;
         var module = config.settings().settings();
         Limits limits = config.limits();
@@ -98,14 +101,14 @@
         relay = new Relay(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
         boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !journal.schemes().isEmpty();
-        rules = ruled ? new RulesWiring(io, config.settings(), settings, relay, journal) : null;
+        rules = ruled ? new RulesWiring(io, config.settings(), RulesWiring.load(config.settings(), settings), relay, journal) : null;
         front = new PlatformFront(io, platform, discovery(config), relay, config.settings(), rules);
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         discovery = new Discovery(io, platform, discovery(config), hosts, relay);
         relay.onWatch(discovery::watch);
         int eventClients = 0;
         if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
-            EventsWiring second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules);
+            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
             second.listen();
@@ -145,11 +148,8 @@
     private Runnable reading(Map<String, String> variables) throws IOException {
         Config fresh = Config.read(variables);
         Settings told = OperatorFile.settings(settingsFile);
-        Runnable rest = gossip == null ? () -> { } : gossip.reload(told), ruling = rules == null ? () -> { } : rules.reload(told);
-        List<String> later = new ArrayList<>(settings.changed(told, Keys.ALL, false));
-        if (rules == null && !told.get(Keys.RULES_FILES).isEmpty()) {
-            later.add(Keys.RULES_FILES.path());   // there were none at the start
-        }
+        Runnable rest = gossip == null ? () -> { } : gossip.reload(told), ruling = ruling(told);
+        List<String> later = settings.changed(told, Keys.ALL, false);
         return () -> {
             discovery.move(discovery(fresh));
             front.move(discovery(fresh));
@@ -160,6 +160,28 @@
         };
     }
 
+    /** What applies the rules, which may be the first. */
+    private Runnable ruling(Settings told) throws IOException {
+        if (rules != null) {
+            return rules.reload(told);
+        }
+        if (told.get(Keys.RULES_FILES).isEmpty()) {
+            return () -> { };
+        }
+        var loaded = RulesWiring.load(config.settings(), told);
+        return () -> {
+            try {
+                rules = new RulesWiring(io, config.settings(), loaded, relay, journal);
+                front.rulings(rules);
+                if (second != null) {
+                    second.rulings(rules);
+                }
+            } catch (IOException e) {
+                System.err.println("rules: not taken: " + e.getMessage());
+            }
+        };
+    }
+
     /** On SIGTERM: answers all that comes, settles what is out, and ends with 0. */
     private void drain() {
         long start = io.clock.now();
--- a/src/main/java/elderseam/EventsWiring.java
+++ b/src/main/java/elderseam/EventsWiring.java
@@ -42,6 +42,11 @@
         return events.listen().isEmpty() ? 0 : Math.min(MOST_CLIENTS, limits.downstream() / 4);
     }
 
+    /** From the next event on. */
+    void rulings(Rulings rulings) {
+        front.rulings(rulings);
+    }
+
     void listen() throws IOException {
         if (!events.listen().isEmpty() && events.directory().isEmpty()) {
             listen(clients(), null);
--- a/src/main/java/elderseam/RulesWiring.java
+++ b/src/main/java/elderseam/RulesWiring.java
@@ -33,7 +33,7 @@
     private final Io io;
     private final Relay relay;
     private final Journal journal;
-    private final Names names;
+    private final SettingsMap settings;
     private final Sender.Settings module;
     private final Decider decider;
     private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
@@ -41,19 +41,31 @@
     private volatile int earlier;
     private volatile Scheme current;   // read by the signal's thread
 
-    /** Reads, checks and tests the rules, before any socket opens; faults end the start. */
-    RulesWiring(Io io, SettingsMap settings, Settings operator, Relay relay, Journal journal) throws IOException {
+    /** Reads, checks and tests the rules, on any thread; null where no files are named. */
+    static Loader.Loaded load(SettingsMap settings, Settings operator) throws IOException {
+        List<Path> files = operator.get(Keys.RULES_FILES).stream().map(Path::of).toList();
+        if (files.isEmpty()) {
+            return null;
+        }
+        Loader.Loaded loaded = Loader.load(files, Extent.of(operator), names(settings));
+        loaded.warnings().forEach(System.err::println);
+        return loaded;
+    }
+
+    private static Names names(SettingsMap settings) {
+        return Names.of(settings.names("services"), settings.names("orgs"));
+    }
+
+    /** {@code loaded}: what {@link #load} gave, or null. */
+    RulesWiring(Io io, SettingsMap settings, Loader.Loaded loaded, Relay relay, Journal journal) throws IOException {
+        this.settings = settings;
         this.io = io;
         this.relay = relay;
         this.journal = journal;
-        this.names = Names.of(settings.names("services"), settings.names("orgs"));
+        Names names = names(settings);
         this.module = settings.settings();
         this.decider = new Decider(module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(), module.maxRetryAfterNs(), module.mostHeld(), this,
                 words -> System.err.println(words));
-        Loader.Loaded loaded = load(operator);
-        if (loaded != null) {
-            loaded.warnings().forEach(System.err::println);
-        }
         for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
             Scheme scheme = new Scheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
             if (loaded == null || !scheme.equals(loaded.book().scheme())) {
@@ -67,11 +79,6 @@
         prune();
     }
 
-    private Loader.Loaded load(Settings operator) throws IOException {
-        List<Path> files = operator.get(Keys.RULES_FILES).stream().map(Path::of).toList();
-        return files.isEmpty() ? null : Loader.load(files, Extent.of(operator), names);
-    }
-
     /** Between two requests, whole; what its keys stand on is journalled before any of them counts. */
     private boolean put(Loader.Loaded loaded) {
         Scheme scheme = loaded == null ? null : loaded.book().scheme();
@@ -97,10 +104,7 @@
 
     @Override
     public Runnable reload(Settings fresh) throws IOException {
-        Loader.Loaded loaded = load(fresh);
-        if (loaded != null) {
-            loaded.warnings().forEach(System.err::println);
-        }
+        Loader.Loaded loaded = load(settings, fresh);
         Scheme next = loaded == null ? null : loaded.book().scheme();
         if (earlier >= Decider.MOST_REMEMBERED && current != null && !current.equals(next)) {
             throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: " + Decider.MOST_REMEMBERED
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -75,15 +75,10 @@
     private final List<String> classes, tenants;
     private final Sender.Settings settings;
     private final long rememberNs;
-    private final boolean ruled;
+    private boolean ruled;     // of the request that is read
 
     EventCodec(Clock clock, SettingsMap settings, long rememberNs) {
-        this(clock, settings, rememberNs, false);
-    }
 
-    /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
-    EventCodec(Clock clock, SettingsMap settings, long rememberNs, boolean ruled) {
-        this.ruled = ruled;
         this.clock = clock;
         this.classes = settings.names("services");
         this.tenants = settings.names("orgs");
@@ -92,6 +87,12 @@
     }
 
     Decoded decode(Request r) {
+        return decode(r, false);
+    }
+
+    /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
+    Decoded decode(Request r, boolean ruled) {
+        this.ruled = ruled;
         String type = r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
         if (type.equals(BATCH)) {
             return batch(r.body());
--- a/src/main/java/elderseam/cloudevents/EventFront.java
+++ b/src/main/java/elderseam/cloudevents/EventFront.java
@@ -43,17 +43,22 @@
     private final EventCodec codec;
     private final WebHook webHook;
     private final Map<String, List<Consumer<Verdict>>> waiting = new HashMap<>();
-    private final Rulings rulings;
+    private Rulings rulings;   // null while there are none
     private int waiters;
 
     /** {@code rulings}: the operator's rules, or null. */
     public EventFront(Clock clock, Relay relay, SettingsMap settings, EventConfig events, Rulings rulings) {
         this.relay = relay;
         this.rulings = rulings;
-        this.codec = new EventCodec(clock, settings, events.rememberNs(), rulings != null);
+        this.codec = new EventCodec(clock, settings, events.rememberNs());
         this.webHook = new WebHook(events.origins(), events.rate());
     }
 
+    /** From the next event on. */
+    public void rulings(Rulings rulings) {
+        this.rulings = rulings;
+    }
+
     public void handle(Request r, Answerer to) {
         if (!r.path().equals(PATH)) {
             to.answer(404, Map.of(), "");
@@ -68,7 +73,7 @@
             to.answer(405, Map.of("Allow", webHook.origins().isEmpty() ? "POST" : "POST, OPTIONS"), "");
             return;
         }
-        EventCodec.Decoded decoded = codec.decode(r);
+        EventCodec.Decoded decoded = codec.decode(r, rulings != null);
         List<EventCodec.Item> items = decoded.items();
         Verdict[] verdicts = new Verdict[items.size()];
         int[] open = {items.size()};
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -8,11 +8,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -52,34 +48,27 @@
         }
     }
 
-    private final Path file;
+    private final JournalStore store;
     private final long cap;
     private final Clock clock;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final JournalKeys keys = new JournalKeys();
-    private FileChannel channel;
     private long size;
     private long live;
     private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
 
     public Journal(Path folder, long capBytes, Clock clock) throws IOException {
-        this.file = folder.resolve("journal");
+        this(new JournalFiles(folder), capBytes, clock);
+    }
+
+    /** On a store of another kind. */
+    public Journal(JournalStore store, long capBytes, Clock clock) throws IOException {
+        this.store = store;
         this.cap = capBytes - MARGIN;
         this.clock = clock;
-        Files.createDirectories(folder);
-        Files.deleteIfExists(spare());
-        channel = open(file);
         replay();
     }
 
-    private static FileChannel open(Path path) throws IOException {
-        return FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-    }
-
-    private Path spare() {
-        return file.resolveSibling("journal.new");
-    }
-
     // ---------------------------------------------------------------- what is told
 
     /** False where there is no room: then nothing was written. */
@@ -145,7 +134,7 @@
 
     /** An attempt is about to leave; false where that could not be written. */
     public boolean sent(String id) {
-        long now = System.currentTimeMillis();
+        long now = clock.wallMs();
         return append(encode(JournalRecords.SENT, id, out -> out.writeLong(now))) && sent(entries.get(id), now);
     }
 
@@ -184,7 +173,7 @@
     }
 
     private void sweep() {
-        long now = System.currentTimeMillis();
+        long now = clock.wallMs();
         entries.entrySet().removeIf(x -> {
             Entry e = x.getValue();
             boolean past = e.answer != null && !e.owed && e.keepMs < now;
@@ -292,7 +281,7 @@
             if (size + record.length > cap) {
                 return false;
             }
-            write(channel, record, size);
+            store.write(record, size);
             size += record.length;
             return true;
         } catch (IOException e) {
@@ -301,17 +290,10 @@
         }
     }
 
-    private static void write(FileChannel to, byte[] bytes, long at) throws IOException {
-        ByteBuffer b = ByteBuffer.wrap(bytes);
-        while (b.hasRemaining()) {
-            to.write(b, at + b.position());
-        }
-    }
-
     /** Writes what still counts to a new file, which then takes the place of the old one. */
     private void compact() throws IOException {
         sweep();
-        FileChannel fresh = open(spare());
+        JournalStore fresh = store.fresh();
         long at = 0;
         try {
             for (Map.Entry<String, byte[]> x : keys.schemes().entrySet()) {
@@ -338,25 +320,22 @@
                     out.writeLong(e.outMs);
                 }));
             }
-            Files.move(spare(), file, StandardCopyOption.ATOMIC_MOVE);
+            store.replace(fresh);
         } catch (IOException e) {
-            fresh.close();
-            Files.deleteIfExists(spare());
+            fresh.discard();
             throw e;
         }
-        channel.close();
-        channel = fresh;
         size = at;
     }
 
-    private static long writeAt(FileChannel to, long at, byte[] record) throws IOException {
-        write(to, record, at);
+    private static long writeAt(JournalStore to, long at, byte[] record) throws IOException {
+        to.write(record, at);
         return at + record.length;
     }
 
     /** Reads by the window: a call for each record of a full file took longer than all the rest of a start. */
     private void replay() throws IOException {
-        long length = channel.size();
+        long length = store.length();
         ByteBuffer window = ByteBuffer.allocate((int) Math.min(length, WINDOW));
         window.flip();
         while (size + HEAD <= length && fill(window, HEAD, size)) {
@@ -373,7 +352,7 @@
             window.position(from + bytes);
             size += HEAD + bytes;
         }
-        channel.truncate(size);
+        store.truncate(size);
     }
 
     /** Sees to it that the window holds so many bytes from its position on, which is that place of the file. */
@@ -384,7 +363,7 @@
         window.compact();
         long from = at + window.position();
         for (int n = 0; window.hasRemaining() && n >= 0; from += Math.max(0, n)) {
-            n = channel.read(window, from);
+            n = store.read(window, from);
         }
         window.flip();
         return window.remaining() >= bytes;
@@ -443,6 +422,6 @@
 
     @Override
     public void close() throws IOException {
-        channel.close();
+        store.close();
     }
 }
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -15,9 +15,9 @@
 public final class Relay {
     /** A destination that no list has: what is to go there is never taken on, whatever any rule says. */
     public static final long NOWHERE = 999_999_999_999_999_999L;
-    private static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
+    static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
     /** Kept of a stream's time to tell its end in: a thread that is late for so long still tells it in time. */
-    private static final long TELLING_NS = 80 * Clock.MS;
+    static final long TELLING_NS = 80 * Clock.MS;
     private static final long LOOK_NS = 5 * Clock.MS;
 
     private final Sender.Settings settings;
@@ -28,7 +28,7 @@
     private final Map<Byte, Front> fronts = new HashMap<>();
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
-    private final Twins twins = new Twins();
+    private final Copies copies;
     private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
     private Runnable watch = () -> { };
     private boolean turning, postponed, recovering;
@@ -40,6 +40,7 @@
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
+        this.copies = new Copies(journal, clock, loop, fronts);
         this.facade = new Facade(settings, seed, words -> System.err.println("module: " + words));
     }
 
@@ -74,10 +75,10 @@
             s.owned = true;
             streams.put(s.id(), s);
             if (!s.message.same().isEmpty()) {
-                twins.leads(s);
+                copies.leads(s);
             }
         }
-        journal.joined().forEach(this::rejoin);
+        copies.recover();
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
         Recovery recovery = new Recovery(back, settings.classes(), settings.slots(), clock.now());
         boolean[] told = new boolean[1];
@@ -85,17 +86,6 @@
         recover(recovery, untold, told, ready);
     }
 
-    /** One that waited for another's end when the process ended: it waits on, or has that end, or the other had none and is gone. */
-    private void rejoin(Stream.Message m) {
-        Stream first = twins.first(m.same(), List.of());
-        if (first != null) {
-            join(m, first);
-        } else {
-            Answer known = journal.answerOf(m.same());
-            endJoined(m, known == null ? Answer.refused(ROOM_AGAIN_NS) : known);
-        }
-    }
-
     private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
         fronts.values().forEach(Front::tell);
         Runnable again = () -> recover(recovery, untold, told, ready);
@@ -151,13 +141,10 @@
             return known;
         }
         if (!message.same().isEmpty() || !also.isEmpty()) {
-            known = answerOf(message.same(), also);
-            if (known != null) {
-                return known;
-            }
-            Stream first = twins.first(message.same(), also);
-            if (first != null) {
-                return room() && journal.joined(joining(message, first)) ? join(joining(message, first), first) : Answer.refused(ROOM_AGAIN_NS);
+            known = copies.answerOf(message.same(), also);
+            Stream first = known == null ? copies.first(message.same(), also) : null;
+            if (known != null || first != null) {
+                return known != null ? known : room() && copies.join(message, first) ? null : Answer.refused(ROOM_AGAIN_NS);
             }
         }
         Stream s = new Stream(message);
@@ -166,7 +153,7 @@
         }
         streams.put(s.id(), s);
         if (!message.same().isEmpty()) {
-            twins.leads(s);
+            copies.leads(s);
         }
         facade.take(clock.now(), s);
         turn();
@@ -175,7 +162,7 @@
     }
 
     private boolean room() {
-        return streams.size() + twins.size() < settings.mostHeld();
+        return streams.size() + copies.size() < settings.mostHeld();
     }
 
     /** Whether that message is under way, or its end is remembered. */
@@ -185,44 +172,12 @@
 
     /** Whether a message with one of these keys is under way, or its end is remembered. */
     public boolean knows(String same, List<String> also) {
-        return twins.first(same, also) != null || answerOf(same, also) != null;
-    }
-
-    private Answer answerOf(String same, List<String> also) {
-        Answer a = journal.answerOf(same);
-        for (int i = 0; a == null && i < also.size(); i++) {
-            a = journal.answerOf(also.get(i));
-        }
-        return a;
-    }
-
-    /** As one that waits for the first: by the key that the first is known by, and without a body, which nobody will send. */
-    private static Stream.Message joining(Stream.Message m, Stream first) {
-        return new Stream.Message(m.id(), m.front(), m.cls(), m.tenant(), m.destination(), m.deadline(), m.rememberUntil(), m.again(),
-                m.heedsWindow(), "", new byte[0], first.message.same());
-    }
-
-    private Answer join(Stream.Message m, Stream first) {
-        twins.joins(m, first);
-        long left = m.deadline() - clock.now();
-        loop.at(m.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)), () -> {
-            Answer answer = twins.expired(m, ROOM_AGAIN_NS);
-            if (answer != null) {
-                endJoined(m, answer);
-                fronts.get(m.front()).tell();
-            }
-        });
-        return null;
-    }
-
-    private void endJoined(Stream.Message m, Answer answer) {
-        journal.ended(m, answer, true);
-        fronts.get(m.front()).ended(m, answer);
+        return copies.first(same, also) != null || copies.answerOf(same, also) != null;
     }
 
     /** Whether that stream is held and not ended. */
     public boolean holds(String id) {
-        return streams.containsKey(id) || twins.waits(id);
+        return streams.containsKey(id) || copies.waits(id);
     }
 
     /** Messages that may be held at once. */
@@ -274,7 +229,7 @@
     }
 
     public int held() {
-        return streams.size() + twins.size();
+        return streams.size() + copies.size();
     }
 
     public int out() {
@@ -442,7 +397,7 @@
             fronts.get(s.message.front()).ended(s.message, answer);
         }
         if (!s.message.same().isEmpty()) {
-            twins.ended(s).forEach(m -> endJoined(m, answer));
+            copies.ended(s, answer);
         }
     }
 }
--- a/src/main/java/elderseam/gossip/trial/VirtualTime.java
+++ b/src/main/java/elderseam/emulator/VirtualTime.java
@@ -1,9 +1,9 @@
-package elderseam.gossip.trial;
+package elderseam.emulator;
 
 import java.util.PriorityQueue;
 
 /** Time that passes from event to event; events of one time run in the order in which they were set. */
-final class VirtualTime {
+public final class VirtualTime {
     private record Event(long at, long number, Runnable what) implements Comparable<Event> {
         @Override
         public int compareTo(Event o) {
@@ -12,22 +12,28 @@
     }
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private long now, numbers;
+    private long now, numbers, run;
 
-    long now() {
+    public long now() {
         return now;
     }
 
-    void at(long when, Runnable what) {
+    public void at(long when, Runnable what) {
         events.add(new Event(Math.max(now, when), numbers++, what));
     }
 
+    /** Events that have run. */
+    public long events() {
+        return run;
+    }
+
     /** Lets so much time pass. */
-    void pass(long ns) {
+    public void pass(long ns) {
         long end = now + ns;
         while (!events.isEmpty() && events.peek().at <= end) {
             Event e = events.poll();
             now = e.at;
+            run++;
             e.what.run();
         }
         now = end;
--- a/src/main/java/elderseam/gossip/trial/Service.java
+++ b/src/main/java/elderseam/gossip/trial/Service.java
@@ -1,5 +1,6 @@
 package elderseam.gossip.trial;
 
+import elderseam.emulator.VirtualTime;
 import elderseam.gossip.Agent;
 import elderseam.gossip.Claim;
 import elderseam.gossip.Tempo;
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -29,7 +29,7 @@
     private final Relay relay;
     private final Notices notices;
     private final List<String> classes, tenants;
-    private final Rulings rulings;
+    private Rulings rulings;   // null while there are none
     private boolean ready, closing;
 
     /** {@code rulings}: the operator's rules, or null. */
@@ -42,6 +42,11 @@
         this.tenants = settings.names("orgs");
     }
 
+    /** From the next message on. */
+    public void rulings(Rulings rulings) {
+        this.rulings = rulings;
+    }
+
     public void handle(Request r, Answerer to) {
         if (r.path().equals("/health/ready")) {
             to.answer(ready && !closing ? 200 : 503, Map.of(), "");
--- a/src/main/java/elderseam/rules/Example.java
+++ b/src/main/java/elderseam/rules/Example.java
@@ -1,7 +1,7 @@
 package elderseam.rules;
 
-import elderseam.rules.RuleText.Section;
-import elderseam.rules.RuleText.Value;
+import elderseam.settings.Sections.Section;
+import elderseam.settings.Sections.Value;
 import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/elderseam/rules/Loader.java
+++ b/src/main/java/elderseam/rules/Loader.java
@@ -1,12 +1,13 @@
 package elderseam.rules;
 
-import elderseam.rules.RuleText.Section;
-import elderseam.rules.RuleText.Value;
 import elderseam.rules.lang.Expression;
 import elderseam.rules.lang.Fault;
 import elderseam.rules.lang.Program;
 import elderseam.rules.lang.Scope;
 import elderseam.rules.lang.Type;
+import elderseam.settings.Sections;
+import elderseam.settings.Sections.Section;
+import elderseam.settings.Sections.Value;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
@@ -27,6 +28,7 @@
             "limit", Set.of("per", "rate_per_s", "burst", "keys"),
             "route", Set.of("to", "by", "fallback", "header", "canary", "canary_steps", "canary_every", "canary_from"),
             "example", Example.KEYS, "scheme", Set.of("zone", "body_bytes", "body_depth", "field_chars", "list_items"));
+    private static final List<String> KINDS = List.of("table", "rule", "route", "limit", "example");
     private static final int MOST_FAULTS = 200;
 
     private final Extent extent;
@@ -62,7 +64,7 @@
         Loader l = new Loader(extent, names, false);
         List<Section> sections = new ArrayList<>();
         for (Path file : files) {
-            sections.addAll(RuleText.read(file.toString(), Settings.lines(file, "a rules file"), l.faults));
+            sections.addAll(Sections.read(file.toString(), Settings.lines(file, "a rules file"), KINDS, l.faults));
         }
         return l.load(sections);
     }
@@ -70,7 +72,7 @@
     /** What a scheme's text says, for its keys alone; names that are gone since do no harm. */
     public static Rulebook scheme(Scheme s, Names names) throws IOException {
         List<String> faults = new ArrayList<>();
-        List<Section> sections = RuleText.read("scheme " + s.name(), s.text().lines().toList(), faults);
+        List<Section> sections = Sections.read("scheme " + s.name(), s.text().lines().toList(), List.of("table", "rule", "route", "scheme"), faults);
         Section head = sections.get(0);
         Extent usual = Extent.USUAL;
         Extent e = new Extent(java.time.ZoneId.of(head.text("zone", "UTC")), Integer.parseInt(head.text("body_bytes", "0")),
--- a/src/main/java/elderseam/rules/Ruling.java
+++ b/src/main/java/elderseam/rules/Ruling.java
@@ -31,10 +31,4 @@
         by = "";
         charges.clear();
     }
-
-    void trace(String words) {
-        if (trace != null) {
-            trace.add(words);
-        }
-    }
 }
--- a/src/main/java/elderseam/rules/SchemeText.java
+++ b/src/main/java/elderseam/rules/SchemeText.java
@@ -1,6 +1,6 @@
 package elderseam.rules;
 
-import elderseam.rules.RuleText.Section;
+import elderseam.settings.Sections.Section;
 import java.util.List;
 import java.util.Set;
 
--- a/src/main/java/elderseam/rules/Table.java
+++ b/src/main/java/elderseam/rules/Table.java
@@ -25,7 +25,7 @@
             boolean matches = rule.matches(a);
             Err e = a.error();
             if (e == null && !matches) {
-                r.trace("table " + name + ": rule " + rule.name + " does not match");
+                trace(r, rule, " does not match");
                 continue;
             }
             if (e == null) {
@@ -33,7 +33,7 @@
             }
             if (e != null) {
                 rule.errors++;
-                r.trace("table " + name + ": rule " + rule.name + ": error: " + e.words() + (refuses ? ", refused" : ", as if it did not match"));
+                trace(r, rule, ": error: " + e.words() + (refuses ? ", refused" : ", as if it did not match"));
                 book.erred(rule, e, a.now());
                 if (refuses) {
                     r.refuseNs = REFUSED_NS;
@@ -43,7 +43,7 @@
                 continue;
             }
             rule.matched++;
-            r.trace("table " + name + ": rule " + rule.name + " matches");
+            trace(r, rule, " matches");
             rule.apply(r);
             if (first || r.refuseNs >= 0) {
                 break;
@@ -53,4 +53,10 @@
         a.tenant = r.tenant;
         a.destination = r.destination;
     }
+
+    private void trace(Ruling r, Rule rule, String words) {
+        if (r.trace != null) {
+            r.trace.add("table " + name + ": rule " + rule.name + words);
+        }
+    }
 }
--- a/src/main/java/elderseam/rules/lang/Planner.java
+++ b/src/main/java/elderseam/rules/lang/Planner.java
@@ -338,6 +338,9 @@
                 return in.error != null ? null : (first ? then : otherwise).of(in);
             };
         }
+        if (c.function().equals("[]") && c.args().get(1) instanceof Ast.Literal l && l.value() instanceof String key) {
+            return Structures.select(any(c.args().get(0)), key, false);   // the same, and its errors too
+        }
         if (c.function().equals("+") && both(c, STRING)) {
             return Texts.joined(any(c.args().get(0)), any(c.args().get(1)));
         }
--- a/src/main/java/elderseam/rules/RuleText.java
+++ b/src/main/java/elderseam/settings/Sections.java
@@ -1,4 +1,4 @@
-package elderseam.rules;
+package elderseam.settings;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -6,44 +6,44 @@
 import java.util.Map;
 
 /**
- * A file of rules, in sections of values as an INI file has them, except that a value is all of its line as it stands (expressions
- * hold quotes, commas and signs of comments), and goes on in lines that begin with white space.
+ * A file of named sections, {@code [kind name]}, with values as an INI file has them, except that a value is all of its line as it
+ * stands (expressions hold quotes, commas and signs of comments), and goes on in lines that begin with white space.
  */
-final class RuleText {
-    static final int MOST_SECTIONS = 20_000;
+public final class Sections {
+    private static final int MOST_SECTIONS = 20_000;
 
     /** {@code line} and {@code column}, from 1, of the value's first character. */
-    record Value(String text, int line, int column) {}
+    public record Value(String text, int line, int column) {}
 
     /** {@code kind} and {@code name} of {@code [kind name]}; a key told more than once has more than one value. */
-    record Section(String file, String kind, String name, int line, Map<String, List<Value>> values) {
-        String place(Value v, String key) {
+    public record Section(String file, String kind, String name, int line, Map<String, List<Value>> values) {
+        public String place(Value v, String key) {
             return file + ":" + v.line + ":" + v.column + ": " + kind + "." + name + "." + key + ": ";
         }
 
-        String place() {
+        public String place() {
             return file + ":" + line + ": " + kind + "." + name + ": ";
         }
 
-        boolean has(String key) {
+        public boolean has(String key) {
             return values.containsKey(key);
         }
 
-        Value value(String key) {
+        public Value value(String key) {
             List<Value> all = values.get(key);
             return all == null ? null : all.get(0);
         }
 
-        String text(String key, String absent) {
+        public String text(String key, String absent) {
             Value v = value(key);
             return v == null ? absent : v.text;
         }
     }
 
-    private RuleText() {}
+    private Sections() {}
 
-    /** The sections of a file; what is wrong with its form is added to the faults. */
-    static List<Section> read(String file, List<String> lines, List<String> faults) {
+    /** The sections of a file, of these kinds; what is wrong with its form is added to the faults. */
+    public static List<Section> read(String file, List<String> lines, List<String> kinds, List<String> faults) {
         List<Section> all = new ArrayList<>();
         Map<String, Integer> seen = new LinkedHashMap<>();
         List<Value> values = null;     // those of the last key, which a line may go on
@@ -60,13 +60,13 @@
                 continue;
             }
             if (bare.startsWith("[")) {
-                section(file, bare, i + 1, all, seen, faults);
+                section(file, bare, i + 1, kinds, all, seen, faults);
                 continue;
             }
             int eq = line.indexOf('=');
             String key = eq < 0 ? "" : line.substring(0, eq).strip();
             if (!key.matches("[a-z][a-z0-9_]*")) {
-                faults.add(at + "'" + bare + "' is no line of a rules file, allowed: [kind name], key = value, # comment");
+                faults.add(at + "'" + bare + "' is no line of such a file, allowed: [kind name], key = value, # comment");
             } else if (all.isEmpty()) {
                 faults.add(at + key + ": before any section, allowed: below a [kind name]");
             } else {
@@ -81,11 +81,11 @@
         return all;
     }
 
-    private static void section(String file, String bare, int line, List<Section> all, Map<String, Integer> seen, List<String> faults) {
+    private static void section(String file, String bare, int line, List<String> kinds, List<Section> all, Map<String, Integer> seen, List<String> faults) {
         String[] words = bare.endsWith("]") ? bare.substring(1, bare.length() - 1).strip().split(" +") : new String[0];
         String at = file + ":" + line + ": ";
-        if (words.length != 2 || !words[0].matches("table|rule|route|limit|example|scheme") || !words[1].matches("[A-Za-z0-9_.-]{1,64}")) {
-            faults.add(at + "'" + bare + "' is no section, allowed: [table NAME], [rule NAME], [route NAME], [limit NAME], [example NAME]");
+        if (words.length != 2 || !kinds.contains(words[0]) || !words[1].matches("[A-Za-z0-9_.-]{1,64}")) {
+            faults.add(at + "'" + bare + "' is no section, allowed: " + String.join(", ", kinds.stream().map(k -> "[" + k + " NAME]").toList()));
             words = new String[] {"unknown", "unknown"};
         } else if (seen.putIfAbsent(words[0] + " " + words[1], line) != null) {
             faults.add(at + words[0] + " " + words[1] + " stands at line " + seen.get(words[0] + " " + words[1]) + " already, allowed: once");
--- a/src/test/java/elderseam/rules/LoaderTest.java
+++ b/src/test/java/elderseam/rules/LoaderTest.java
@@ -32,7 +32,7 @@
     /** Before the bar a file, its lines apart by ~; behind it what one fault of it begins with. */
     @ParameterizedTest
     @ValueSource(strings = {
-        "nonsense|a.rules:1: 'nonsense' is no line of a rules file", "a = b|a.rules:1: a: before any section", "[rule]|a.rules:1: '[rule]' is no section",
+        "nonsense|a.rules:1: 'nonsense' is no line of such a file", "a = b|a.rules:1: a: before any section", "[rule]|a.rules:1: '[rule]' is no section",
         "[rool a]|a.rules:1: '[rool a]' is no section", "[rule a]~priority = 1~[rule a]~priority = 1|a.rules:3: rule a stands at line 1 already",
         "[rule a]~wen = true|a.rules:2:7: rule.a.wen: unknown key, allowed: class, deadline", "[rule a]~priority = 1~priority = 2|a.rules:3:12: rule.a.priority: told at line 2",
         "[rule a]~when = true|a.rules:1: rule.a: yields nothing", "[rule a]~priority = 10|a.rules:2:12: rule.a.priority: '10' can't be used, allowed: 0.0 to 9.0",
--- a/src/test/java/elderseam/scenario/GossipCost.java
+++ b/src/test/java/elderseam/scenario/GossipCost.java
@@ -49,8 +49,7 @@
     private static long ticks(List<Scenario> all) throws Exception {
         long sum = 0;
         for (Scenario s : all) {
-            String[] stat = Scenario.stat(s.pid()).split(" ");
-            sum += Long.parseLong(stat[11]) + Long.parseLong(stat[12]);
+            sum += s.ticks();
         }
         return sum;
     }
@@ -58,9 +57,7 @@
     private static long resident(List<Scenario> all) throws Exception {
         long kb = 0;
         for (Scenario s : all) {
-            for (String line : Files.readAllLines(Path.of("/proc/" + s.pid() + "/status"))) {
-                kb += line.startsWith("VmRSS:") ? Long.parseLong(line.replaceAll("\\D", "")) : 0;
-            }
+            kb += s.resident();
         }
         return kb;
     }
--- a/src/test/java/elderseam/scenario/RulesTest.java
+++ b/src/test/java/elderseam/scenario/RulesTest.java
@@ -160,6 +160,7 @@
                 c expect 202
                 h1 expect X-Txn: one
                 h1 send 429; X-RateLimit-Wait-Ms: 2500
+                h1 wait quiet 100
                 c send POST /rent-payment; {org} X-Txn: copy | {rent}
                 c expect 202
                 relay close kill
@@ -229,10 +230,11 @@
                 c expect 202
                 h1 expect X-Txn: first
                 """);
-        for (int i = 0; i < 63; i++) {
+        script.append("e send {event} ce-type: rent-payment; ce-id: told | {rent}\n");   // whose answer says that the end is known
+        for (int i = 0; i < 62; i++) {
             script.append("c send POST /rent-payment; {org} X-Txn: copy").append(i).append(" | {rent}\nc expect 202\n");
         }
-        script.append("c send POST /rent-payment; {org} X-Txn: above | {rent}\nc expect 503; Retry-After\nh1 wait quiet 50\nh1 send 200\n");
+        script.append("c send POST /rent-payment; {org} X-Txn: above | {rent}\nc expect 503; Retry-After\nh1 wait quiet 50\nh1 send 200\ne expect 200\n");
         for (int i = 0; i < 435; i++) {
             script.append("c send POST /rent-payment; {org} X-Txn: late").append(i).append(" | {rent}\nc expect 200\n");
         }
@@ -338,6 +340,36 @@
         }
     }
 
+    /** The first rules come while it runs, for both fronts, and go again: keys they gave are told on. */
+    @Test
+    void theFirstRulesComeByHangup() throws Exception {
+        try (Scenario s = new Scenario(folder)) {
+            s.start();
+            rules(LEASE);
+            Path ini = folder.resolve("elderseam.ini");
+            String without = Files.readString(ini);
+            Files.writeString(ini, without + "[rules]\nfiles = " + folder.resolve("a.rules") + "\n");
+            run(s, """
+                    relay hangup
+                    relay wait reload
+                    c send POST /rent-payment; {org} X-Txn: one | {rent}
+                    c expect 202
+                    h1 expect X-Txn: one
+                    h1 send 200
+                    e send {event} ce-type: rent-payment; ce-id: two | {rent}
+                    e expect 200; delivered
+                    """);
+            Files.writeString(ini, without);
+            run(s, """
+                    relay hangup
+                    relay expect rules: none, keys of 1 earlier readings are remembered
+                    e send {event} ce-type: rent-payment; ce-id: three | {rent}
+                    e expect 200; delivered
+                    h1 wait quiet 200
+                    """);
+        }
+    }
+
     /** New rules count whole or not at all: a fault, or an example that fails, leaves the old ones in place. */
     @Test
     void aReloadIsWholeOrNotAtAll() throws Exception {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -197,6 +197,18 @@
         return stat.substring(stat.lastIndexOf(')') + 2);
     }
 
+    /** CPU that the program has used, in hundredths of a second. */
+    long ticks() throws IOException {
+        String[] stat = stat(pid()).split(" ");
+        return Long.parseLong(stat[11]) + Long.parseLong(stat[12]);
+    }
+
+    /** Its memory, in kB. */
+    long resident() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + pid() + "/status")).stream().filter(l -> l.startsWith("VmRSS:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
+    }
+
     private void platform(String verb, String words) throws Exception {
         switch (verb) {
             case "send" -> changes.add(words);
