An emulator of the systems served round the real core, and the lab's first commands

The checkers first found the emulated client bringing keyed messages again after their window, which the platform's do not; mended.

--- /dev/null
+++ b/src/main/java/elderseam/emulator/Clients.java
@@ -0,0 +1,216 @@
+package elderseam.emulator;
+
+import elderseam.core.Answer;
+import elderseam.core.Stream;
+import elderseam.emulator.Watcher.Msg;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Everybody who hands messages in, and the front layer that picks a dispatcher: arrivals do not wait for answers (open loop). */
+final class Clients {
+    private static final long MS = World.MS, S = World.S, DAY_NS = 86_400 * S;
+    private static final byte[] BODY = new byte[200];
+    private static final double BURST_SHARE = 0.1, BURST_S = 1;
+
+    private static final class Open {
+        final Msg m;
+        int tries;
+        boolean taken;
+
+        Open(Msg m) {
+            this.m = m;
+        }
+    }
+
+    private final World world;
+    private final Plan plan;
+    private final UniformRandomProvider arrivals, choices, front, habits;
+    private final Map<String, Open> open = new HashMap<>();
+    private final double[] upTo;           // of destinations: the rates added up
+    private final Destination[] order;
+    private final double[] mixUpTo = new double[3];
+    private long ids;
+    private boolean bursting;
+
+    Clients(World world) {
+        this.world = world;
+        this.plan = world.plan;
+        this.arrivals = world.draws.of("arrivals");
+        this.choices = world.draws.of("choices");
+        this.front = world.draws.of("front");
+        this.habits = world.draws.of("habits");
+        this.order = world.destinations.values().toArray(new Destination[0]);
+        this.upTo = new double[order.length];
+        double sum = 0;
+        for (int i = 0; i < order.length; i++) {
+            sum += order[i].kind.perS() * order[i].kind.load() * plan.clients().scale();
+            upTo[i] = sum;
+        }
+        double mix = 0;
+        for (int i = 0; i < 3; i++) {
+            mix += plan.clients().mix()[i];
+            mixUpTo[i] = mix;
+        }
+    }
+
+    void begin() {
+        if (plan.clients().arrivals() == Plan.Arrivals.BURSTY) {
+            burst();
+        }
+        next();
+    }
+
+    /** A tenth of the time a burst; the rest so much less that the mean stays. */
+    private void burst() {
+        double mean = bursting ? BURST_S * (1 - BURST_SHARE) / BURST_SHARE : BURST_S;
+        bursting = !bursting;
+        world.time.at(world.time.now() + (long) (Draws.exponential(arrivals, mean) * S), this::burst);
+    }
+
+    private double floods(long now) {
+        double more = 0;
+        for (Plan.Flood f : plan.floods()) {
+            more += now >= f.at() * S && now < (f.at() + f.lasts()) * S ? (f.factor() - 1) / plan.clients().tenants() : 0;
+        }
+        return more;
+    }
+
+    /** Messages a second that are wanted now. */
+    private double rate(long now) {
+        double rate = plan.rate() * (1 + floods(now));
+        return switch (plan.clients().arrivals()) {
+            case BURSTY -> rate * (bursting ? plan.clients().burst() : Math.max(0.05, (1 - BURST_SHARE * plan.clients().burst()) / (1 - BURST_SHARE)));
+            case CLUMPED -> rate / plan.clients().clump();
+            case DIURNAL -> {   // the plan's length is a day, least at its ends; month-end doubles the afternoon
+                double day = now / (plan.seconds() * S);
+                yield rate * (1 - Math.cos(2 * Math.PI * day)) * (plan.clients().monthEnd() && day > 0.5 ? 2 : 1);
+            }
+            default -> rate;
+        };
+    }
+
+    private void next() {
+        double most = Math.max(1e-9, rate(world.time.now()));
+        long gap = (long) Math.min(S / 4, Draws.exponential(arrivals, S / most));   // looked at anew where the rate moves
+        boolean comes = gap < S / 4;
+        long at = world.time.now() + Math.max(1, gap);
+        if (at >= plan.seconds() * S || at >= DAY_NS * 365) {
+            return;
+        }
+        world.time.at(at, () -> {
+            if (comes) {
+                int n = plan.clients().arrivals() == Plan.Arrivals.CLUMPED ? plan.clients().clump() : 1;
+                Destination d = destination();
+                for (int i = 0; i < n; i++) {
+                    make(d);
+                }
+            }
+            next();
+        });
+    }
+
+    private Destination destination() {
+        double draw = choices.nextDouble() * upTo[upTo.length - 1];
+        int at = java.util.Arrays.binarySearch(upTo, draw);
+        return order[Math.min(order.length - 1, at < 0 ? -at - 1 : at + 1)];
+    }
+
+    private void make(Destination d) {
+        long now = world.time.now();
+        double draw = choices.nextDouble() * mixUpTo[2];
+        int cls = draw < mixUpTo[0] ? 0 : draw < mixUpTo[1] ? 1 : 2;
+        Msg m = new Msg("m" + ids++, cls, tenant(now), d.id, now, now + Policies.CLASSES.get(cls).deadlineNs());
+        Open o = new Open(m);
+        open.put(m.id(), o);
+        hand(o);
+    }
+
+    private int tenant(long now) {
+        int tenants = plan.clients().tenants();
+        double draw = choices.nextDouble() * (1 + floods(now));
+        if (draw < 1) {
+            return (int) (draw * tenants);
+        }
+        draw -= 1;
+        for (Plan.Flood f : plan.floods()) {
+            if (now >= f.at() * S && now < (f.at() + f.lasts()) * S) {
+                draw -= (f.factor() - 1) / tenants;
+                if (draw < 0) {
+                    return (f.tenant() - 1) % tenants;
+                }
+            }
+        }
+        return 0;
+    }
+
+    /** Hands a message in, or in again, at a dispatcher that answers. */
+    private void hand(Open o) {
+        World.Seat seat = world.any(front);
+        boolean again = o.tries++ > 0;
+        world.watcher.handedIn(world.time.now(), o.m, again);
+        if (seat == null) {
+            again(o, 500 * MS);
+            return;
+        }
+        Msg m = o.m;
+        o.taken = true;
+        Answer answer = seat.instance.take(new Stream.Message(m.id(), (byte) 0, m.cls(), m.tenant(), m.destination(), m.deadline(), m.deadline(), again, true, "", BODY));
+        if (answer != null) {
+            answered(m.id(), answer);
+        } else {
+            world.watcher.taken(world.time.now(), seat.number, m);
+        }
+    }
+
+    Msg known(String id) {
+        Open o = open.get(id);
+        return o == null ? new Msg(id, 0, 0, 0, world.time.now(), world.time.now()) : o.m;
+    }
+
+    /** A final answer of a dispatcher. */
+    void answered(String id, Answer answer) {
+        Open o = open.get(id);
+        if (o == null) {
+            world.watcher.answered(world.time.now(), new Msg(id, -1, -1, -1, 0, 0), answer);   // to one that had its end: for the checkers
+            return;
+        }
+        if (!o.taken) {
+            world.watcher.answered(world.time.now(), new Msg(id, -1, -1, -1, 0, 0), answer);
+            return;
+        }
+        o.taken = false;
+        world.watcher.answered(world.time.now(), o.m, answer);
+        if (answer.kind() == Answer.Kind.REFUSED) {
+            again(o, answer.againNs());
+        } else {
+            end(o, answer.kind());
+        }
+    }
+
+    /** The client comes again when it was told to and somewhat later, while there is time and it has not lost patience. */
+    private void again(Open o, long afterNs) {
+        long at = world.time.now() + Math.max(100 * MS, afterNs) + (long) (200 * MS * habits.nextDouble());
+        long window = Policies.CLASSES.get(o.m.cls()).keyWindowNs();
+        boolean past = window > 0 && at >= o.m.born() + window;   // a repeat would no longer be dropped, as the platform's clients know
+        if (past || at >= o.m.deadline() || o.tries > plan.clients().retries()) {
+            end(o, Answer.Kind.REFUSED);
+        } else {
+            world.time.at(at, () -> hand(o));
+        }
+    }
+
+    private void end(Open o, Answer.Kind kind) {
+        open.remove(o.m.id());
+        world.watcher.over(world.time.now(), o.m, kind);
+    }
+
+    /** The run is over: what is still open never had its answer. */
+    void over() {
+        List<Open> left = new ArrayList<>(open.values());
+        open.clear();
+        left.forEach(o -> world.watcher.over(world.time.now(), o.m, null));
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/emulator/MemoryStore.java
@@ -0,0 +1,62 @@
+package elderseam.emulator;
+
+import elderseam.core.JournalStore;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/** The journal's bytes in memory: they outlast the emulated process. */
+final class MemoryStore implements JournalStore {
+    private byte[] bytes = new byte[1 << 12];
+    private int length;
+
+    @Override
+    public long length() {
+        return length;
+    }
+
+    @Override
+    public int read(ByteBuffer to, long at) {
+        int n = (int) Math.min(to.remaining(), length - at);
+        if (n <= 0) {
+            return -1;
+        }
+        to.put(bytes, (int) at, n);
+        return n;
+    }
+
+    @Override
+    public void write(byte[] record, long at) {
+        int end = (int) at + record.length;
+        if (end > bytes.length) {
+            bytes = Arrays.copyOf(bytes, Math.max(end, 2 * bytes.length));
+        }
+        System.arraycopy(record, 0, bytes, (int) at, record.length);
+        length = Math.max(length, end);
+    }
+
+    @Override
+    public void truncate(long to) {
+        length = (int) Math.min(length, to);
+    }
+
+    @Override
+    public JournalStore fresh() {
+        return new MemoryStore();
+    }
+
+    @Override
+    public void replace(JournalStore fresh) {
+        bytes = ((MemoryStore) fresh).bytes;
+        length = ((MemoryStore) fresh).length;
+    }
+
+    @Override
+    public void discard() {
+        length = 0;
+    }
+
+    @Override
+    public void close() {
+        // stays, for the next process
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/emulator/Network.java
@@ -0,0 +1,135 @@
+package elderseam.emulator;
+
+import elderseam.core.Attempt;
+import elderseam.core.UpstreamRequest;
+import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.core.UpstreamRequest.Status;
+import elderseam.emulator.Watcher.Msg;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Connections and what travels on them: delays, losses, resets, late answers. One for the world. */
+final class Network {
+    private static final long MS = 1_000_000, LISTENS_NS = 1_000 * MS;   // for the late answer of a call that was given up
+
+    private final VirtualTime time;
+    private final Plan.Network plan;
+    private final Watcher watcher;
+    private final long seed;
+    private final Map<String, Long> idleUntil = new HashMap<>();   // by dispatcher and endpoint: one idle connection stands for many
+
+    Network(VirtualTime time, Plan.Network plan, Watcher watcher, long seed) {
+        this.time = time;
+        this.plan = plan;
+        this.watcher = watcher;
+        this.seed = seed;
+    }
+
+    private long delay(String id, int attempt, int what) {
+        return (long) (MS * (plan.delayMs() + plan.jitterMs() * Draws.unit(seed, id, attempt, what)));
+    }
+
+    /** One call; {@code alive}: whether the process that made it still lives. */
+    Call call(int dispatcher, java.util.function.BooleanSupplier alive, Msg m, int number, Destination to, int endpoint, long connectBy, long answerBy, Attempt attempt) {
+        return new Call(dispatcher, alive, m, number, to, endpoint, connectBy, answerBy, attempt);
+    }
+
+    final class Call implements UpstreamRequest {
+        private final int dispatcher, number, endpoint;
+        private final java.util.function.BooleanSupplier alive;
+        private final Msg m;
+        private final Destination to;
+        private final long answerBy;
+        private final Attempt attempt;
+        private final String name;
+        private Progress progress = Progress.NOT_CONNECTED;
+        private boolean over, left;
+
+        private Call(int dispatcher, java.util.function.BooleanSupplier alive, Msg m, int number, Destination to, int endpoint, long connectBy, long answerBy, Attempt attempt) {
+            this.dispatcher = dispatcher;
+            this.alive = alive;
+            this.m = m;
+            this.number = number;
+            this.to = to;
+            this.endpoint = endpoint;
+            this.answerBy = answerBy;
+            this.attempt = attempt;
+            this.name = to == null ? "nobody" : to.endpoints[endpoint];
+            String pair = dispatcher + name;
+            boolean idle = to != null && idleUntil.getOrDefault(pair, -1L) >= time.now();
+            long connect = idle ? 0 : to == null ? Destination.NEVER : (long) (to.kind.connectMs() * MS) + 2 * delay(m.id(), number, 11);
+            if (time.now() + connect > connectBy) {
+                time.at(Math.max(time.now(), connectBy), () -> ends(End.unanswered(Progress.NOT_CONNECTED, Status.TIMED_OUT)));
+            } else {
+                time.at(time.now() + connect, this::leave);
+            }
+            if (to != null) {
+                idleUntil.put(pair, time.now() + connect + to.kind.idleMs() * MS);
+            }
+        }
+
+        private void leave() {
+            if (over || !alive.getAsBoolean()) {
+                return;
+            }
+            if (!attempt.mayLeave()) {
+                ends(End.unanswered(Progress.NOT_CONNECTED, Status.HELD));
+                return;
+            }
+            watcher.called(time.now(), dispatcher, m, name);
+            left = true;
+            boolean lost = plan.loss() > 0 && Draws.unit(seed, m.id(), number, 13) < plan.loss();
+            boolean after = lost && Draws.unit(seed, m.id(), number, 14) < 0.5;
+            long way = delay(m.id(), number, 15);
+            if (lost && !after) {
+                time.at(time.now() + way, () -> ends(End.unanswered(Progress.PARTLY_WRITTEN, Status.BROKEN)));
+                return;
+            }
+            Destination.Reply r = to.call(time.now() + way, endpoint, m, number);
+            progress = r.progress() == Progress.NOT_CONNECTED ? Progress.NOT_CONNECTED : Progress.WRITTEN;
+            if (r.ranNs() >= 0) {
+                time.at(time.now() + way + r.ranNs(), () -> watcher.ran(time.now(), m));
+            }
+            long back = r.afterNs() >= Destination.NEVER ? Destination.NEVER : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
+            if (lost) {
+                time.at(Math.min(answerBy, back), () -> ends(End.unanswered(Progress.WRITTEN, Status.BROKEN)));
+            } else if (back > answerBy) {
+                time.at(Math.max(time.now(), answerBy), () -> ends(End.unanswered(progress, Status.TIMED_OUT)));
+            }
+            if (!lost && back < answerBy + LISTENS_NS) {
+                time.at(back, () -> answered(r));
+            }
+        }
+
+        private void answered(Destination.Reply r) {
+            End end = new End(r.progress(), r.status(), r.waitNs(), r.left(), r.perS());
+            if (!alive.getAsBoolean()) {
+                return;
+            }
+            if (r.waitNs() > 0) {
+                watcher.waits(time.now(), dispatcher, to.id, time.now() + r.waitNs());
+            }
+            if (!over) {
+                ends(end);
+            } else if (r.progress() == Progress.ANSWERED) {
+                attempt.answeredLate(end);
+            }
+        }
+
+        private void ends(End end) {
+            if (!over && alive.getAsBoolean()) {
+                over = true;
+                if (left) {
+                    watcher.ended(time.now(), dispatcher, m, name, end);
+                }
+                attempt.ended(end);
+            }
+        }
+
+        @Override
+        public void abandon() {
+            ends(End.unanswered(progress, Status.ABANDONED));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/emulator/PlainInstance.java
@@ -0,0 +1,157 @@
+package elderseam.emulator;
+
+import elderseam.core.Answer;
+import elderseam.core.Attempt;
+import elderseam.core.Stream;
+import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.core.UpstreamRequest.Status;
+import elderseam.module.Sender;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A dispatcher round a plain policy: it keeps the rules that any must keep (one attempt of a message at a time, a once-only message
+ * that may have run is never sent again, its slots, its answers in time, the endpoints that are listed), and leaves to the policy
+ * whether a call may go out now and to which endpoint. It keeps no journal: what it holds at its end is lost.
+ */
+final class PlainInstance implements Instance {
+    private static final long MARGIN_NS = 100 * Policies.MS, BACK_NS = 100 * Policies.MS, MOST_BACK_NS = 2_000 * Policies.MS;
+
+    private final class Held {
+        final Stream.Message m;
+        int attempts;
+        boolean out, maybeRan;
+
+        Held(Stream.Message m) {
+            this.m = m;
+        }
+    }
+
+    private final Place place;
+    private final Plain policy;
+    private final Map<String, Held> held = new LinkedHashMap<>();
+    private final Map<Long, List<String>> endpoints = new HashMap<>();
+    private boolean closing;
+    private int out;
+
+    PlainInstance(Place place, Plain policy) {
+        this.place = place;
+        this.policy = policy;
+    }
+
+    @Override
+    public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
+        if (kind == Sender.ListKind.WHOLE) {
+            endpoints.clear();
+        }
+        for (Sender.Endpoint e : list) {
+            List<String> of = endpoints.computeIfAbsent(e.destination(), d -> new ArrayList<>());
+            of.remove(e.address());
+            if (e.listing() == Sender.Listing.READY) {
+                of.add(e.address());
+            }
+            policy.listed(e);
+        }
+    }
+
+    @Override
+    public void closing(long end) {
+        closing = true;
+    }
+
+    @Override
+    public Answer take(Stream.Message m) {
+        Held known = held.get(m.id());
+        if (known != null) {
+            return null;
+        }
+        if (closing || held.size() >= place.plan().fleet().held() || !endpoints.containsKey(m.destination())) {
+            return Answer.refused(Policies.AGAIN_NS);
+        }
+        Held h = new Held(m);
+        held.put(m.id(), h);
+        place.at(m.deadline() - MARGIN_NS, () -> expire(h));
+        place.at(place.time().now(), () -> tryNow(h));
+        return null;
+    }
+
+    private void tryNow(Held h) {
+        long now = place.time().now();
+        if (held.get(h.m.id()) != h || h.out || closing) {
+            return;
+        }
+        List<String> of = endpoints.getOrDefault(h.m.destination(), List.of());
+        Plain.Verdict v = out >= place.plan().fleet().slots() || of.isEmpty() ? Plain.Verdict.later(BACK_NS) : policy.pick(h.m.destination(), of, h.m, h.attempts, now);
+        if (v.endpoint() == null && v.refuse()) {
+            end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+        } else if (v.endpoint() == null) {
+            place.at(now + v.laterNs(), () -> tryNow(h));
+        } else {
+            send(h, v.endpoint(), now);
+        }
+    }
+
+    private void send(Held h, String endpoint, long now) {
+        h.out = true;
+        h.attempts++;
+        out++;
+        policy.sent(h.m.destination(), endpoint, now);
+        place.send(h.m, endpoint, Math.min(now + 1_500 * Policies.MS, h.m.deadline() - MARGIN_NS), h.m.deadline() - MARGIN_NS, new Attempt() {
+            @Override
+            public boolean mayLeave() {
+                return held.get(h.m.id()) == h;
+            }
+
+            @Override
+            public void ended(End end) {
+                PlainInstance.this.ended(h, endpoint, now, end);
+            }
+
+            @Override
+            public void answeredLate(End end) {
+                // it has had its end
+            }
+        });
+    }
+
+    private void ended(Held h, String endpoint, long start, End end) {
+        long now = place.time().now();
+        h.out = false;
+        out--;
+        h.maybeRan |= end.mayHaveRun() && end.status() != Status.DELIVERED;
+        policy.ended(h.m.destination(), endpoint, now - start, end, now);
+        if (held.get(h.m.id()) != h) {
+            return;
+        }
+        boolean safe = !h.maybeRan || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
+                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED && now - (h.m.deadline() - Policies.CLASSES.get(h.m.cls()).deadlineNs()) < 5_000 * Policies.MS;
+        if (end.status() == Status.DELIVERED) {
+            end(h, Answer.DELIVERED);
+        } else if (!safe || h.attempts >= place.plan().fleet().attempts()) {
+            end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+        } else {
+            place.at(now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))), () -> tryNow(h));
+        }
+    }
+
+    private void expire(Held h) {
+        if (held.get(h.m.id()) == h) {
+            boolean unsure = h.maybeRan || h.out;
+            end(h, unsure ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+        }
+    }
+
+    private void end(Held h, Answer answer) {
+        held.remove(h.m.id());
+        place.ended(h.m, answer);
+    }
+
+    /** Never got through to anybody: for those policies that ask. */
+    static boolean unheard(End end) {
+        return end.progress() == Progress.NOT_CONNECTED;
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/emulator/Watchers.java
@@ -0,0 +1,74 @@
+package elderseam.emulator;
+
+import elderseam.core.Answer;
+import elderseam.core.UpstreamRequest;
+import java.util.List;
+
+/** Several that watch one world, each told in turn. */
+final class Watchers implements Watcher {
+    private final List<Watcher> all;
+
+    Watchers(List<Watcher> all) {
+        this.all = List.copyOf(all);
+    }
+
+    @Override
+    public void handedIn(long now, Msg m, boolean again) {
+        all.forEach(w -> w.handedIn(now, m, again));
+    }
+
+    @Override
+    public void taken(long now, int dispatcher, Msg m) {
+        all.forEach(w -> w.taken(now, dispatcher, m));
+    }
+
+    @Override
+    public void answered(long now, Msg m, Answer answer) {
+        all.forEach(w -> w.answered(now, m, answer));
+    }
+
+    @Override
+    public void over(long now, Msg m, Answer.Kind kind) {
+        all.forEach(w -> w.over(now, m, kind));
+    }
+
+    @Override
+    public void called(long now, int dispatcher, Msg m, String endpoint) {
+        all.forEach(w -> w.called(now, dispatcher, m, endpoint));
+    }
+
+    @Override
+    public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
+        all.forEach(w -> w.ended(now, dispatcher, m, endpoint, end));
+    }
+
+    @Override
+    public void ran(long now, Msg m) {
+        all.forEach(w -> w.ran(now, m));
+    }
+
+    @Override
+    public void waits(long now, int dispatcher, long destination, long until) {
+        all.forEach(w -> w.waits(now, dispatcher, destination, until));
+    }
+
+    @Override
+    public void drains(long now, int dispatcher, String endpoint) {
+        all.forEach(w -> w.drains(now, dispatcher, endpoint));
+    }
+
+    @Override
+    public void trouble(long now, long destination, boolean begins) {
+        all.forEach(w -> w.trouble(now, destination, begins));
+    }
+
+    @Override
+    public void felled(long now, long destination) {
+        all.forEach(w -> w.felled(now, destination));
+    }
+
+    @Override
+    public void process(long now, int dispatcher, boolean up) {
+        all.forEach(w -> w.process(now, dispatcher, up));
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/emulator/World.java
@@ -0,0 +1,269 @@
+package elderseam.emulator;
+
+import elderseam.core.Answer;
+import elderseam.core.Attempt;
+import elderseam.core.Stream;
+import elderseam.core.UpstreamRequest;
+import elderseam.emulator.Watcher.Msg;
+import elderseam.module.Sender;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** One run of a plan: destinations, network, discovery, the fleet and its restarts; what happens is told to watchers. */
+public final class World {
+    static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long DRAIN_NS = 5 * S, TERM_NS = 3_300 * MS, CLOSING_NS = 300 * MS;
+
+    /** A dispatcher's place in the fleet; processes come and go there. */
+    final class Seat implements Instance.Place {
+        final int number;
+        final MemoryStore store = new MemoryStore();
+        Instance instance;
+        long life;
+        boolean up, accepting;
+
+        Seat(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public VirtualTime time() {
+            return time;
+        }
+
+        @Override
+        public Plan plan() {
+            return plan;
+        }
+
+        @Override
+        public int number() {
+            return number;
+        }
+
+        @Override
+        public UpstreamRequest send(Stream.Message m, String endpoint, long connectBy, long answerBy, Attempt attempt) {
+            long mine = life;
+            Msg msg = clients.known(m.id());
+            int e = endpoint.indexOf('e');
+            Destination to = endpoint.startsWith("wrong") ? null : destinations.get(Long.parseLong(endpoint.substring(1, e)));
+            int tries = attempts.merge(m.id(), 1, Integer::sum);
+            return network.call(number, () -> up && life == mine, msg, tries, to, to == null ? 0 : Integer.parseInt(endpoint.substring(e + 1)), connectBy, answerBy, attempt);
+        }
+
+        @Override
+        public void ended(Stream.Message m, Answer answer) {
+            attempts.remove(m.id());
+            clients.answered(m.id(), answer);
+        }
+
+        @Override
+        public Destination destination(long id) {
+            return destinations.get(id);
+        }
+
+        @Override
+        public void at(long when, Runnable task) {
+            long mine = life;
+            time.at(when, () -> {
+                if (up && life == mine) {
+                    task.run();
+                }
+            });
+        }
+
+        private void start() {
+            life++;
+            up = true;
+            accepting = true;
+            instance = maker.make(this, store, seed * 1_000 + number * 31L + life);
+            watcher.process(time.now(), number, true);
+            instance.hosts(Sender.ListKind.WHOLE, list());
+        }
+
+        private void stop() {
+            up = false;
+            accepting = false;
+            watcher.process(time.now(), number, false);
+        }
+    }
+
+    final VirtualTime time = new VirtualTime();
+    final Plan plan;
+    final long seed;
+    final Draws draws;
+    final Watcher watcher;
+    final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private final Map<String, Sender.Endpoint> listed = new LinkedHashMap<>();
+    private final List<Seat> seats = new ArrayList<>();
+    private final Policies.Maker maker;
+    private final Network network;
+    private final Clients clients;
+
+    public World(Plan plan, String policy, long seed, List<Watcher> watchers) {
+        this.plan = plan;
+        this.seed = seed;
+        this.draws = new Draws(seed);
+        this.watcher = watchers.size() == 1 ? watchers.get(0) : new Watchers(watchers);
+        this.maker = Policies.of(policy);
+        this.network = new Network(time, plan.network(), watcher, seed);
+        for (int k = 0; k < plan.kinds().size(); k++) {
+            for (int i = 0; i < plan.kinds().get(k).destinations(); i++) {
+                Destination d = new Destination(destinations.size() + 1, plan.kinds().get(k), seed, watcher);
+                destinations.put(d.id, d);
+                for (String e : d.endpoints) {
+                    listed.put(e, new Sender.Endpoint(e, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
+                }
+                if (draws.of("wrong").nextDouble() < plan.discovery().wrong()) {
+                    listed.put("wrong" + d.id, new Sender.Endpoint("wrong" + d.id, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
+                }
+            }
+        }
+        this.clients = new Clients(this);
+        for (int i = 0; i < plan.fleet().dispatchers(); i++) {
+            seats.add(new Seat(i));
+        }
+    }
+
+    /** Plays it; {@code progress} is told the seconds done, every now and then. */
+    public void run(java.util.function.DoubleConsumer progress) {
+        troubles();
+        drains();
+        restarts();
+        seats.forEach(Seat::start);
+        clients.begin();
+        long end = (long) (plan.seconds() * S) + Policies.CLASSES.stream().mapToLong(Sender.MessageClass::deadlineNs).max().orElse(0) + 2 * S;
+        for (long step = end / 100 + 1; time.now() < end; ) {
+            time.pass(Math.min(step, end - time.now()));
+            progress.accept(time.now() / (double) S);
+        }
+        clients.over();
+    }
+
+    public VirtualTime time() {
+        return time;
+    }
+
+    /** How each dispatcher's breakers stand now. */
+    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
+        seats.stream().filter(s -> s.up).forEach(s -> s.instance.breakers(each));
+    }
+
+    // ---------------------------------------------------------------- the front layer
+
+    /** A dispatcher that takes clients on, or null. */
+    Seat any(UniformRandomProvider r) {
+        int from = r.nextInt(seats.size());
+        for (int i = 0; i < seats.size(); i++) {
+            Seat s = seats.get((from + i) % seats.size());
+            if (s.accepting) {
+                return s;
+            }
+        }
+        return null;
+    }
+
+    // ---------------------------------------------------------------- what is done to it
+
+    private List<Destination> part(String kind, double part, String name) {
+        List<Destination> of = new ArrayList<>(destinations.values().stream().filter(d -> d.kind.name().equals(kind)).toList());
+        UniformRandomProvider r = draws.of("part " + name);
+        for (int i = of.size() - 1; i > 0; i--) {
+            Collections.swap(of, i, r.nextInt(i + 1));
+        }
+        return of.subList(0, (int) Math.min(of.size(), Math.max(1, Math.round(part * of.size()))));
+    }
+
+    private void troubles() {
+        for (Plan.Trouble t : plan.troubles()) {
+            long from = (long) (t.at() * S), to = (long) ((t.at() + t.lasts()) * S);
+            for (Destination d : part(t.kind(), t.part(), t.name())) {
+                d.trouble(from, to, t.fault(), t.factor());
+                time.at(from, () -> watcher.trouble(time.now(), d.id, true));
+                time.at(to, () -> {
+                    if (t.fault() != Plan.Fault.SLOW) {
+                        d.returns(to);
+                    }
+                    watcher.trouble(time.now(), d.id, false);
+                });
+            }
+        }
+    }
+
+    private void drains() {
+        for (Plan.Drain drain : plan.drains()) {
+            for (Destination d : part(drain.kind(), drain.part(), drain.name())) {
+                String e = d.endpoints[0];
+                time.at((long) (drain.at() * S), () -> listing(e, Sender.Listing.DRAINING));
+                time.at((long) (drain.at() * S) + DRAIN_NS, () -> listing(e, Sender.Listing.GONE));
+            }
+        }
+    }
+
+    private void listing(String endpoint, Sender.Listing listing) {
+        Sender.Endpoint e = listed.get(endpoint);
+        if (e == null) {
+            return;
+        }
+        Sender.Endpoint now = new Sender.Endpoint(e.address(), e.destination(), e.kind(), e.zone(), listing, e.weight());
+        if (listing == Sender.Listing.GONE) {
+            listed.remove(endpoint);
+        } else {
+            listed.put(endpoint, now);
+        }
+        for (Seat s : seats) {
+            long at = time.now() + (long) (plan.discovery().lateMs() * MS);
+            long downFrom = (long) (plan.discovery().downAt() * S), downTo = downFrom + (long) (plan.discovery().downFor() * S);
+            time.at(at >= downFrom && at < downTo ? downTo : at, () -> {
+                if (s.up) {
+                    s.instance.hosts(Sender.ListKind.CHANGES, List.of(now));
+                    if (listing != Sender.Listing.READY) {
+                        watcher.drains(time.now(), s.number, endpoint);
+                    }
+                }
+            });
+        }
+    }
+
+    private List<Sender.Endpoint> list() {
+        return List.copyOf(listed.values());
+    }
+
+    private void restarts() {
+        for (Plan.Restart r : plan.restarts()) {
+            List<Seat> order = new ArrayList<>(seats);
+            UniformRandomProvider random = draws.of("restart " + r.name());
+            for (int i = order.size() - 1; i > 0; i--) {
+                Collections.swap(order, i, random.nextInt(i + 1));
+            }
+            int n = (int) Math.max(1, Math.round(r.part() * order.size()));
+            for (int i = 0; i < n; i++) {
+                Seat s = order.get(i);
+                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S), down = (long) (r.downMs() * MS);
+                time.at(at, () -> {
+                    if (!s.up) {
+                        return;
+                    }
+                    if (r.how() == Plan.How.KILL) {
+                        s.stop();
+                        time.at(time.now() + down, s::start);
+                    } else {
+                        s.instance.closing(time.now() + TERM_NS);
+                        time.at(time.now() + CLOSING_NS, () -> s.accepting = false);
+                        time.at(time.now() + TERM_NS, () -> {
+                            s.stop();
+                            time.at(time.now() + down, s::start);
+                        });
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/lab/Run.java
@@ -0,0 +1,105 @@
+package elderseam.lab;
+
+import elderseam.emulator.Checkers;
+import elderseam.emulator.Plan;
+import elderseam.emulator.Tally;
+import elderseam.emulator.World;
+import elderseam.module.Sender;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.DoubleConsumer;
+
+/**
+ * One run of one plan with one policy and one seed, and all that it came to.
+ *
+ * @param breakers of each destination that ever had a breaker open: by second 0 closed, 1 trying, 2 open, the worst of all dispatchers
+ */
+public record Run(String policy, long seed, Map<String, Double> figures, Map<String, Integer> broken, String words, double[] series, int[] refusals, int[] calls, int[] failed,
+                  Map<Long, byte[]> breakers, Map<String, double[]> latencies) {
+    private static final long S = 1_000_000_000L;
+    private static final int MOST_TIMELINES = 200;
+    static final double[] PERCENTILES = {1, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99, 100};
+
+    public static Run of(Plan plan, String policy, long seed, DoubleConsumer progress) {
+        Tally tally = new Tally(plan);
+        Checkers checkers = new Checkers(plan.fleet().slots());
+        World world = new World(plan, policy, seed, List.of(tally, checkers));
+        int seconds = (int) Math.ceil(plan.seconds());
+        Map<Long, byte[]> lines = new HashMap<>();
+        for (int s = 0; s < seconds; s++) {
+            int at = s;
+            world.time().at(s * S, () -> world.breakers((d, b) -> look(lines, d, b, at, seconds)));
+        }
+        world.run(progress);
+        Map<String, Double> figures = tally.figures();
+        figures.put("felled", (double) checkers.felled());
+        Map<String, Integer> broken = new TreeMap<>();
+        checkers.broken().forEach((rule, n) -> broken.put(rule.name().toLowerCase(Locale.ROOT), n));
+        figures.put("broken", (double) broken.values().stream().mapToInt(n -> n).sum());
+        Map<Long, byte[]> open = new TreeMap<>();
+        lines.forEach((d, line) -> {
+            if (open.size() < MOST_TIMELINES && has(line)) {
+                open.put(d, line);
+            }
+        });
+        Map<String, double[]> latencies = new LinkedHashMap<>();
+        for (int c = 0; c < 3; c++) {
+            double[] at = new double[PERCENTILES.length];
+            for (int i = 0; i < at.length; i++) {
+                at[i] = tally.latency(c).getValueAtPercentile(PERCENTILES[i]) / 1_000.0;
+            }
+            latencies.put(List.of("status-update", "job-order", "rent-payment").get(c), at);
+        }
+        return new Run(policy, seed, figures, broken, checkers.words(), cut(tally.series(), seconds), cut(tally.refusals(), seconds), cut(tally.callsASecond(), seconds),
+                cut(tally.failedASecond(), seconds), open, latencies);
+    }
+
+    private static void look(Map<Long, byte[]> lines, long d, Sender.Breaker b, int second, int seconds) {
+        byte state = (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
+        if (state > 0) {
+            byte[] line = lines.computeIfAbsent(d, x -> new byte[seconds]);
+            line[second] = (byte) Math.max(line[second], state);
+        }
+    }
+
+    private static boolean has(byte[] line) {
+        for (byte b : line) {
+            if (b == 2) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static double[] cut(double[] of, int n) {
+        return java.util.Arrays.copyOf(of, Math.min(of.length, n));
+    }
+
+    private static int[] cut(int[] of, int n) {
+        return java.util.Arrays.copyOf(of, Math.min(of.length, n));
+    }
+
+    /** One line of JSON with the figures; the series are the report's. */
+    public String json(Map<String, String> parameters) {
+        List<String> all = new ArrayList<>();
+        parameters.forEach((k, v) -> all.add(quoted(k) + ":" + quoted(v)));
+        all.add("\"policy\":" + quoted(policy));
+        all.add("\"seed\":" + seed);
+        figures.forEach((k, v) -> all.add(quoted(k) + ":" + number(v)));
+        broken.forEach((k, v) -> all.add(quoted("broken_" + k) + ":" + v));
+        return "{" + String.join(",", all) + "}";
+    }
+
+    static String quoted(String s) {
+        return "\"" + s.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+    }
+
+    static String number(double v) {
+        return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.format(Locale.ROOT, "%.6f", v);
+    }
+}
