--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 /**
@@ -36,12 +37,17 @@
     private int out;
 
     public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop) {
+        this(settings, seed, journal, clock, loop, words -> System.err.println("module: " + words));
+    }
+
+    /** {@code log}: where the module's words go. */
+    public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop, Consumer<String> log) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
         this.copies = new Copies(journal, clock, loop, fronts);
-        this.facade = new Facade(settings, seed, words -> System.err.println("module: " + words));
+        this.facade = new Facade(settings, seed, log);
     }
 
     /** Names a front, and who carries what it took on. */
--- a/src/main/java/elderseam/emulator/Checkers.java
+++ b/src/main/java/elderseam/emulator/Checkers.java
@@ -51,7 +51,7 @@
     public void answered(long now, Msg m, Answer answer) {
         if (m.cls() < 0) {
             breaks(Rule.ANSWERED_TWICE, now, m.id() + " is answered " + answer.kind() + " though nobody waits");
-        } else if (now > m.deadline() + LATE_NS && now > started.getOrDefault(holders.getOrDefault(m.id(), -1), m.deadline()) + AWAY_NS) {
+        } else if (now > m.deadline() + LATE_NS && now > started.getOrDefault(holders.getOrDefault(m.id(), -1), -AWAY_NS) + AWAY_NS) {
             breaks(Rule.LATE, now, m.id() + " is answered " + (now - m.deadline()) / MS + " ms after its deadline");
         }
     }
--- a/src/main/java/elderseam/emulator/ModuleInstance.java
+++ b/src/main/java/elderseam/emulator/ModuleInstance.java
@@ -47,7 +47,7 @@
         Clock clock = new Virtual(place.time());
         try {
             Journal journal = new Journal(store, JOURNAL_BYTES, clock);
-            relay = new Relay(Policies.settings(place.plan()), seed, journal, clock, this);
+            relay = new Relay(Policies.settings(place.plan()), seed, journal, clock, this, words -> { });
         } catch (IOException e) {
             throw new UncheckedIOException(e);   // memory does not fail so
         }
--- a/src/main/java/elderseam/emulator/World.java
+++ b/src/main/java/elderseam/emulator/World.java
@@ -108,11 +108,15 @@
     private final Clients clients;
 
     public World(Plan plan, String policy, long seed, List<Watcher> watchers) {
+        this(plan, Policies.of(policy), seed, watchers);
+    }
+
+    World(Plan plan, Policies.Maker maker, long seed, List<Watcher> watchers) {
         this.plan = plan;
         this.seed = seed;
         this.draws = new Draws(seed);
         this.watcher = watchers.size() == 1 ? watchers.get(0) : new Watchers(watchers);
-        this.maker = Policies.of(policy);
+        this.maker = maker;
         this.network = new Network(time, plan.network(), watcher, seed);
         for (int k = 0; k < plan.kinds().size(); k++) {
             for (int i = 0; i < plan.kinds().get(k).destinations(); i++) {
