--- a/src/main/java/elderseam/emulator/Destination.java
+++ b/src/main/java/elderseam/emulator/Destination.java
@@ -38,6 +38,8 @@
     private final List<PriorityQueue<Long>> busy = new ArrayList<>();   // of each endpoint: when its calls are done
     private double bucket, load;
     private long bucketAt, loadAt, window, inWindow, warmFrom = Long.MIN_VALUE / 2, downUntil;
+    private double spare = 1;
+    private long spareAt;
     private int calls;
 
     Destination(long id, Plan.Kind kind, long seed, Watcher watcher) {
@@ -85,6 +87,18 @@
         return kind.perS() * (kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, warm));
     }
 
+    /** Room for one more call now, taken; or how long until there is: of all dispatchers together, for the policy that knows all. */
+    long spare(long now) {
+        double rate = stands(now) * 0.98;
+        spare = Math.min(Math.max(1, rate / 40), spare + (now - spareAt) / (double) S * rate);
+        spareAt = now;
+        if (spare < 1) {
+            return (long) ((1 - spare) / rate * S);
+        }
+        spare--;
+        return 0;
+    }
+
     private double burst() {
         return Math.max(4, kind.perS() / 4);
     }
--- a/src/main/java/elderseam/emulator/Plain.java
+++ b/src/main/java/elderseam/emulator/Plain.java
@@ -169,10 +169,10 @@
         }
     }
 
-    /** Knows how each destination really is, and keeps to its share of what it stands: what could be had, not what can. */
+    /** Knows how each destination really is, and that no other dispatcher has its room: what could be had, not what can. */
     static final class Oracle extends Plain {
         private final Instance.Place place;
-        private final Map<Long, double[]> buckets = new HashMap<>();   // tokens, when
+        private final Map<Long, Long> waits = new HashMap<>();   // it keeps the rules all the same
 
         Oracle(Instance.Place place) {
             this.place = place;
@@ -181,18 +181,22 @@
         @Override
         Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
             Destination d = place.destination(destination);
-            if (!d.well(now)) {
-                return Verdict.later(20_000_000);
+            long told = waits.getOrDefault(destination, 0L);
+            if (!d.well(now) || now < told) {
+                return Verdict.later(Math.max(20_000_000, told - now));
             }
-            double rate = d.stands(now) * 0.98 / place.plan().fleet().dispatchers();
-            double[] b = buckets.computeIfAbsent(destination, x -> new double[] {1, now});
-            b[0] = Math.min(Math.max(1, rate / 4), b[0] + (now - b[1]) / 1e9 * rate);
-            b[1] = now;
-            if (b[0] < 1) {
-                return Verdict.later((long) ((1 - b[0]) / rate * 1e9));
+            long wait = d.spare(now);
+            if (wait > 0) {
+                return Verdict.later(wait);
             }
-            b[0]--;
             return Verdict.to(next(destination, of));
         }
+
+        @Override
+        void ended(long destination, String endpoint, long tookNs, End end, long now) {
+            if (end.waitNs() > 0) {
+                waits.merge(destination, now + end.waitNs(), Math::max);
+            }
+        }
     }
 }
--- a/src/main/java/elderseam/emulator/PlainInstance.java
+++ b/src/main/java/elderseam/emulator/PlainInstance.java
@@ -4,7 +4,6 @@
 import elderseam.core.Attempt;
 import elderseam.core.Stream;
 import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
 import elderseam.module.Sender;
 import java.util.ArrayList;
@@ -16,12 +15,13 @@
 /**
  * A dispatcher round a plain policy: it keeps the rules that any must keep (one attempt of a message at a time, a once-only message
  * that may have run is never sent again, its slots, its answers in time, the endpoints that are listed), and leaves to the policy
- * whether a call may go out now and to which endpoint. It keeps no journal: what it holds at its end is lost.
+ * whether a call may go out now and to which endpoint. It keeps no journal, and
+ * what it holds at its end is lost, but for the oracle's.
  */
 final class PlainInstance implements Instance {
     private static final long MARGIN_NS = 100 * Policies.MS, BACK_NS = 100 * Policies.MS, MOST_BACK_NS = 2_000 * Policies.MS;
 
-    private final class Held {
+    static final class Held {
         final Stream.Message m;
         int attempts;
         boolean out, maybeRan;
@@ -33,14 +33,26 @@
 
     private final Place place;
     private final Plain policy;
-    private final Map<String, Held> held = new LinkedHashMap<>();
+    private final Map<String, Held> held;
     private final Map<Long, List<String>> endpoints = new HashMap<>();
     private boolean closing;
     private int out;
 
     PlainInstance(Place place, Plain policy) {
+        this(place, policy, new LinkedHashMap<>());
+    }
+
+    /** {@code kept}: what an earlier process held, which this one goes on with. */
+    PlainInstance(Place place, Plain policy, Map<String, Held> kept) {
         this.place = place;
         this.policy = policy;
+        this.held = kept;
+        for (Held h : kept.values()) {
+            h.maybeRan |= h.out;
+            h.out = false;
+            place.at(Math.max(place.time().now(), h.m.deadline() - MARGIN_NS), () -> expire(h));
+            place.at(place.time().now(), () -> retry(h));
+        }
     }
 
     @Override
@@ -127,17 +139,28 @@
         if (held.get(h.m.id()) != h) {
             return;
         }
-        boolean safe = !h.maybeRan || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED && now - (h.m.deadline() - Policies.CLASSES.get(h.m.cls()).deadlineNs()) < 5_000 * Policies.MS;
         if (end.status() == Status.DELIVERED) {
             end(h, Answer.DELIVERED);
-        } else if (!safe || h.attempts >= place.plan().fleet().attempts()) {
+        } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().attempts()) {
             end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
         } else {
             place.at(now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))), () -> tryNow(h));
         }
     }
 
+    private void retry(Held h) {
+        if (held.get(h.m.id()) == h && !mayRepeat(h, place.time().now())) {
+            end(h, Answer.FAILED);
+        } else {
+            tryNow(h);
+        }
+    }
+
+    private static boolean mayRepeat(Held h, long now) {
+        return !h.maybeRan || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
+                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED && now - (h.m.deadline() - Policies.CLASSES.get(h.m.cls()).deadlineNs()) < 5_000 * Policies.MS;
+    }
+
     private void expire(Held h) {
         if (held.get(h.m.id()) == h) {
             boolean unsure = h.maybeRan || h.out;
@@ -149,9 +172,4 @@
         held.remove(h.m.id());
         place.ended(h.m, answer);
     }
-
-    /** Never got through to anybody: for those policies that ask. */
-    static boolean unheard(End end) {
-        return end.progress() == Progress.NOT_CONNECTED;
-    }
 }
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -29,7 +29,7 @@
         ALL.put("bucket", (place, store, seed) -> new PlainInstance(place, new Plain.TokenBucket()));
         ALL.put("gradient", (place, store, seed) -> new PlainInstance(place, new Plain.Gradient()));
         ALL.put("throttle", (place, store, seed) -> new PlainInstance(place, new Plain.Throttle(seed)));
-        ALL.put("oracle", (place, store, seed) -> new PlainInstance(place, new Plain.Oracle(place)));
+        ALL.put("oracle", (place, store, seed) -> new PlainInstance(place, new Plain.Oracle(place), store.kept));
     }
 
     private Policies() {}
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -40,7 +40,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "nonsense", "serve --nonsense", "serve a b", "config", "config check", "config check a b",
         "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more", "keys", "keys new", "keys new f --name", "keys list", "gossip", "gossip trial --instances 2",
-        "gossip trial --liars 9", "gossip watch", "rules", "rules check", "rules explain f", "rules eval", "rules test f g", "rules check f --nonsense"})
+        "gossip trial --liars 9", "gossip watch", "rules", "rules check", "rules explain f", "rules eval", "rules test f g", "rules check f --nonsense", "lab", "lab run", "lab run f --policy", "lab sweep f", "lab compare a", "lab find f"})
     void aUsageFaultExitsWith2(String words) throws Exception {
         Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
         assertEquals(2, e.code, e.err);
@@ -51,7 +51,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"--help", "serve --help", "simhost --help", "authority --help", "train --help", "config --help",
         "config check --help", "config show --help", "keys --help", "keys new --help", "keys list --help", "gossip --help",
-        "gossip trial --help", "gossip watch --help", "rules --help", "rules check --help", "rules explain --help", "rules eval --help", "rules test --help"})
+        "gossip trial --help", "gossip watch --help", "rules --help", "rules check --help", "rules explain --help", "rules eval --help", "rules test --help", "lab --help", "lab run --help", "lab sweep --help", "lab compare --help", "lab find --help"})
     void helpIsEverywhere(String words) throws Exception {
         Ended e = run(words.split(" "));
         assertEquals(0, e.code, e.err);
