Rules are compiled on a stack of their own: 97 nested calls overflowed serve's 256 KiB

Cause: parser, checker and planner call themselves for each level; trees within the bounds (nesting of 100) ran out of the stack that serve's threads have (-Xss256k). Found on such a stack by hand: dyn(...), (b || ...) and nested maps, 97 to 98 deep.

Change: compile, plan and explain run on a thread with 16 MiB (Deep).

Measured: the same six trees pass with -Xss256k; the language's and the loader's tests pass.

--- a/src/main/java/elderseam/rules/lang/Expression.java
+++ b/src/main/java/elderseam/rules/lang/Expression.java
@@ -43,6 +43,10 @@
 
     /** Reads one; {@code asked}: what it is to give; {@code budget}: units that it may cost at the most. */
     public static Compiled compile(String text, Scope scope, Type asked, long budget) {
+        return Deep.run(() -> compiled(text, scope, asked, budget));
+    }
+
+    private static Compiled compiled(String text, Scope scope, Type asked, long budget) {
         try {
             Ast tree = Qualify.names(Parser.parse(text), scope);
             Map<Ast, Type> types = Checker.check(text, tree, scope, asked);
@@ -64,7 +68,7 @@
 
     /** The compiled form; made anew at each call. */
     public Program program() {
-        return Planner.plan(tree, types, scope, patterns, budget);
+        return Deep.run(() -> Planner.plan(tree, types, scope, patterns, budget));
     }
 
     public String text() {
@@ -103,7 +107,7 @@
 
     /** The checked tree, a line each node: what it is, its type, and the most that it may cost with all below it. */
     public String explained() {
-        return Bounds.explained(tree, types, scope);
+        return Deep.run(() -> Bounds.explained(tree, types, scope));
     }
 
     /** Evaluates it by the reference; {@code names}: the value of a name, or null. Above its budget it ends in an error. */
