--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -1,5 +1,6 @@
 package elderseam.cli;
 
+import elderseam.core.Json;
 import elderseam.settings.Key;
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
@@ -206,8 +207,8 @@
             PrintWriter out = spec.commandLine().getOut();
             for (Key<?> k : Keys.ALL) {
                 if (json) {
-                    out.printf("{\"key\":%s,\"value\":%s,\"from\":%s,\"live\":%s}%n", quoted(k.path()), quoted(s.text(k)),
-                            quoted(s.origin(k)), k.live());
+                    out.printf("{\"key\":%s,\"value\":%s,\"from\":%s,\"live\":%s}%n", Json.quoted(k.path()), Json.quoted(s.text(k)),
+                            Json.quoted(s.origin(k)), k.live());
                 } else {
                     out.printf("%-34s %-24s %-30s %s%n", k.path(), s.text(k).isEmpty() ? "(empty)" : s.text(k), s.origin(k),
                             k.live() ? "live" : "from the next start");
@@ -217,19 +218,4 @@
         }
 
     }
-
-    /** A text as JSON has it. */
-    static String quoted(String text) {
-        StringBuilder all = new StringBuilder("\"");
-        text.chars().forEach(c -> {
-            if (c == '"' || c == '\\') {
-                all.append('\\').append((char) c);
-            } else if (c < ' ') {
-                all.append(String.format("\\u%04x", c));
-            } else {
-                all.append((char) c);
-            }
-        });
-        return all.append('"').toString();
-    }
 }
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -138,8 +138,8 @@
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(Commands.quoted(k)).append(':').append(Commands.quoted(v)).append(','));
-                out.println(all + "\"why\":[" + String.join(",", trace.stream().map(Commands::quoted).toList()) + "]}");
+                got.forEach((k, v) -> all.append(Json.quoted(k)).append(':').append(Json.quoted(v)).append(','));
+                out.println(all + "\"why\":[" + String.join(",", trace.stream().map(Json::quoted).toList()) + "]}");
             } else {
                 got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
                 trace.forEach(t -> out.println("  " + t));
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -75,7 +75,6 @@
     private final List<String> classes, tenants;
     private final Sender.Settings settings;
     private final long rememberNs;
-    private boolean ruled;     // of the request that is read
 
     EventCodec(Clock clock, SettingsMap settings, long rememberNs) {
 
@@ -92,13 +91,12 @@
 
     /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
     Decoded decode(Request r, boolean ruled) {
-        this.ruled = ruled;
         String type = r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
         if (type.equals(BATCH)) {
-            return batch(r.body());
+            return batch(r.body(), ruled);
         }
         if (type.equals(ONE)) {
-            return structured(r.body());
+            return structured(r.body(), ruled);
         }
         Map<String, String> headers = new HashMap<>();
         boolean binary = false;
@@ -121,7 +119,7 @@
         if (r.header("ce-specversion").isEmpty()) {
             return new Decoded(false, List.of(Item.fault(400, "ce-specversion is missing")));
         }
-        return one(() -> HttpMessageFactory.createReader(headers, r.body()).toEvent(), r.body().length);
+        return one(() -> HttpMessageFactory.createReader(headers, r.body()).toEvent(), r.body().length, ruled);
     }
 
     /** One attribute's header; what is wrong with it, or nothing. */
@@ -143,12 +141,12 @@
         }
     }
 
-    private Decoded structured(byte[] body) {
+    private Decoded structured(byte[] body, boolean ruled) {
         try {
             JsonNode event = json.readTree(body);
             String fault = EventRules.fault(event);
             byte[] told = json.writeValueAsBytes(told(event));
-            return fault.isEmpty() ? one(() -> format.deserialize(told), body.length)
+            return fault.isEmpty() ? one(() -> format.deserialize(told), body.length, ruled)
                     : new Decoded(false, List.of(Item.fault(400, fault)));
         } catch (IOException e) {
             return new Decoded(false, List.of(Item.fault(400, "not JSON: " + firstLine(e))));
@@ -167,11 +165,11 @@
         CloudEvent read();
     }
 
-    private Decoded one(Reading reading, int size) {
-        return new Decoded(false, List.of(item(reading, size)));
+    private Decoded one(Reading reading, int size, boolean ruled) {
+        return new Decoded(false, List.of(item(reading, size, ruled)));
     }
 
-    private Decoded batch(byte[] body) {
+    private Decoded batch(byte[] body, boolean ruled) {
         List<Item> items = new ArrayList<>();
         try {
             JsonNode list = json.readTree(body);
@@ -185,7 +183,7 @@
                 byte[] bytes = json.writeValueAsBytes(told(event));
                 String fault = EventRules.fault(event);
                 items.add(!fault.isEmpty() ? new Item(event.path("source").asText(), event.path("id").asText(), null, 400, fault)
-                        : item(() -> format.deserialize(bytes), bytes.length));
+                        : item(() -> format.deserialize(bytes), bytes.length, ruled));
             }
             return new Decoded(true, items);
         } catch (IOException e) {
@@ -193,7 +191,7 @@
         }
     }
 
-    private Item item(Reading reading, int size) {
+    private Item item(Reading reading, int size, boolean ruled) {
         if (size > MOST_EVENT) {
             return Item.fault(413, "more than " + MOST_EVENT + " bytes");
         }
@@ -204,7 +202,7 @@
             return Item.fault(400, firstLine(e));
         }
         String source = event.getSource().toString(), fault = EventRules.fault(event);
-        return fault.isEmpty() ? message(event, source, event.getId()) : new Item(source, event.getId(), null, 400, fault);
+        return fault.isEmpty() ? message(event, source, event.getId(), ruled) : new Item(source, event.getId(), null, 400, fault);
     }
 
     private static String firstLine(Exception e) {
@@ -215,7 +213,7 @@
         return String.valueOf(deepest.getMessage()).lines().findFirst().orElse("malformed");
     }
 
-    private Item message(CloudEvent event, String source, String id) {
+    private Item message(CloudEvent event, String source, String id, boolean ruled) {
         int cls = classes.indexOf(event.getType());
         if (cls < 0 && !ruled) {
             return new Item(source, id, null, 400, "type '" + event.getType() + "' is no class of message");
--- a/src/main/java/elderseam/core/Json.java
+++ b/src/main/java/elderseam/core/Json.java
@@ -116,4 +116,19 @@
     public boolean flag() {
         return "true".equals(value);
     }
+
+    /** A text as JSON has it. */
+    public static String quoted(String text) {
+        StringBuilder all = new StringBuilder("\"");
+        text.chars().forEach(c -> {
+            if (c == '"' || c == '\\') {
+                all.append('\\').append((char) c);
+            } else if (c < ' ') {
+                all.append(String.format("\\u%04x", c));
+            } else {
+                all.append((char) c);
+            }
+        });
+        return all.append('"').toString();
+    }
 }
--- a/src/main/java/elderseam/emulator/Destination.java
+++ b/src/main/java/elderseam/emulator/Destination.java
@@ -40,7 +40,6 @@
     private long bucketAt, loadAt, window, inWindow, warmFrom = Long.MIN_VALUE / 2, downUntil;
     private double spare = 1;
     private long spareAt;
-    private int calls;
 
     Destination(long id, Plan.Kind kind, long seed, Watcher watcher) {
         this.id = id;
@@ -105,7 +104,6 @@
 
     /** A call has come to an endpoint. */
     Reply call(long now, int endpoint, Msg m, int attempt) {
-        calls++;
         Spell s = spell(now);
         long service = (long) (kind.serviceMs() * MS * Math.exp(kind.spread() * Draws.normal(seed, m.id(), attempt, 1) - kind.spread() * kind.spread() / 2));
         if (s != null && (s.fault != Fault.FLAP || (now - s.from) / FLAP_NS % 2 == 0)) {
@@ -217,8 +215,4 @@
     private double reported(Msg m, int attempt) {
         return kind.report() ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * Draws.normal(seed, m.id(), attempt, 7)) : 0;
     }
-
-    int calls() {
-        return calls;
-    }
 }
--- a/src/main/java/elderseam/emulator/Instance.java
+++ b/src/main/java/elderseam/emulator/Instance.java
@@ -14,8 +14,6 @@
 
         Plan plan();
 
-        int number();
-
         /** An attempt leaves for an endpoint; as {@link elderseam.core.Upstream#send}. */
         elderseam.core.UpstreamRequest send(Stream.Message m, String endpoint, long connectBy, long answerBy, elderseam.core.Attempt attempt);
 
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -9,7 +9,8 @@
 public final class Policies {
     static final long MS = 1_000_000, S = 1_000 * MS;
     static final long AGAIN_NS = 500 * MS;   // a refusal's time to come back, of a plain policy
-    static final List<Sender.MessageClass> CLASSES = List.of(
+    /** The classes of every emulated world: safe to repeat, keyed, once only. */
+    public static final List<Sender.MessageClass> CLASSES = List.of(
             new Sender.MessageClass(Sender.Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
             new Sender.MessageClass(Sender.Effect.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
             new Sender.MessageClass(Sender.Effect.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/emulator/Tally.java
@@ -15,8 +15,6 @@
     private final double[] possible, worth;
     private final int[] refusedAt, callsAt, failedAt;
     private final Histogram[] latency = new Histogram[3];
-    private final Map<String, Integer> statuses = new HashMap<>();
-    private final double perS;
     private int messages, delivered, refused, failed, lost, handed, calls, failedCalls, callsInTrouble;
     private final Map<Long, Integer> troubled = new HashMap<>();
 
@@ -27,7 +25,6 @@
         refusedAt = new int[n];
         callsAt = new int[n];
         failedAt = new int[n];
-        perS = plan.rate();
         for (int i = 0; i < 3; i++) {
             latency[i] = new Histogram(60_000_000, 3);   // microseconds up to a minute
         }
@@ -85,7 +82,6 @@
 
     @Override
     public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
-        statuses.merge(end.status().name(), 1, Integer::sum);
         if (end.status() != UpstreamRequest.Status.DELIVERED && end.status() != UpstreamRequest.Status.FULL) {
             failedCalls++;
             failedAt[second(now)]++;
@@ -170,14 +166,4 @@
         }
         return all;
     }
-
-    /** How the attempts ended, by status. */
-    public Map<String, Integer> statuses() {
-        return statuses;
-    }
-
-    /** Messages a second that the plan asks for. */
-    public double perS() {
-        return perS;
-    }
 }
--- a/src/main/java/elderseam/emulator/VirtualTime.java
+++ b/src/main/java/elderseam/emulator/VirtualTime.java
@@ -12,7 +12,7 @@
     }
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private long now, numbers, run;
+    private long now, numbers;
 
     public long now() {
         return now;
@@ -22,18 +22,12 @@
         events.add(new Event(Math.max(now, when), numbers++, what));
     }
 
-    /** Events that have run. */
-    public long events() {
-        return run;
-    }
-
     /** Lets so much time pass. */
     public void pass(long ns) {
         long end = now + ns;
         while (!events.isEmpty() && events.peek().at <= end) {
             Event e = events.poll();
             now = e.at;
-            run++;
             e.what.run();
         }
         now = end;
--- a/src/main/java/elderseam/emulator/World.java
+++ b/src/main/java/elderseam/emulator/World.java
@@ -42,11 +42,6 @@
             return plan;
         }
 
-        @Override
-        public int number() {
-            return number;
-        }
-
         @Override
         public UpstreamRequest send(Stream.Message m, String endpoint, long connectBy, long answerBy, Attempt attempt) {
             long mine = life;
@@ -177,14 +172,20 @@
     // ---------------------------------------------------------------- what is done to it
 
     private List<Destination> part(String kind, double part, String name) {
-        List<Destination> of = new ArrayList<>(destinations.values().stream().filter(d -> d.kind.name().equals(kind)).toList());
-        UniformRandomProvider r = draws.of("part " + name);
-        for (int i = of.size() - 1; i > 0; i--) {
-            Collections.swap(of, i, r.nextInt(i + 1));
-        }
+        List<Destination> of = shuffled(destinations.values().stream().filter(d -> d.kind.name().equals(kind)).toList(), "part " + name);
         return of.subList(0, (int) Math.min(of.size(), Math.max(1, Math.round(part * of.size()))));
     }
 
+    /** In an order of that stream's (Durstenfeld 1964). */
+    private <T> List<T> shuffled(List<T> of, String stream) {
+        List<T> all = new ArrayList<>(of);
+        UniformRandomProvider r = draws.of(stream);
+        for (int i = all.size() - 1; i > 0; i--) {
+            Collections.swap(all, i, r.nextInt(i + 1));
+        }
+        return all;
+    }
+
     private void troubles() {
         for (Plan.Trouble t : plan.troubles()) {
             long from = (long) (t.at() * S), to = (long) ((t.at() + t.lasts()) * S);
@@ -242,11 +243,7 @@
 
     private void restarts() {
         for (Plan.Restart r : plan.restarts()) {
-            List<Seat> order = new ArrayList<>(seats);
-            UniformRandomProvider random = draws.of("restart " + r.name());
-            for (int i = order.size() - 1; i > 0; i--) {
-                Collections.swap(order, i, random.nextInt(i + 1));
-            }
+            List<Seat> order = shuffled(seats, "restart " + r.name());
             int n = (int) Math.max(1, Math.round(r.part() * order.size()));
             for (int i = 0; i < n; i++) {
                 Seat s = order.get(i);
--- a/src/main/java/elderseam/gossip/trial/Dispatcher.java
+++ b/src/main/java/elderseam/gossip/trial/Dispatcher.java
@@ -1,5 +1,6 @@
 package elderseam.gossip.trial;
 
+import elderseam.emulator.Policies;
 import elderseam.emulator.VirtualTime;
 import elderseam.gossip.Agent;
 import elderseam.gossip.Claim;
@@ -18,10 +19,7 @@
  */
 final class Dispatcher implements Sender.Actions, Fleet.Dispatching {
     private static final long MS = 1_000_000, S = 1_000 * MS;
-    private static final List<Sender.MessageClass> CLASSES = List.of(
-            new Sender.MessageClass(Sender.Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
-            new Sender.MessageClass(Sender.Effect.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
-            new Sender.MessageClass(Sender.Effect.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
+    private static final List<Sender.MessageClass> CLASSES = Policies.CLASSES;
 
     /** What it came to: of all messages, by worth; {@code broken}: rules broken. */
     record Tally(double worth, double possible, int messages, int calls, int failedCalls, int refusals, int failures, int broken) {}
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/lab/Run.java
@@ -1,5 +1,6 @@
 package elderseam.lab;
 
+import elderseam.core.Json;
 import elderseam.emulator.Checkers;
 import elderseam.emulator.Plan;
 import elderseam.emulator.Tally;
@@ -87,18 +88,14 @@
     /** One line of JSON with the figures; the series are the report's. */
     public String json(Map<String, String> parameters) {
         List<String> all = new ArrayList<>();
-        parameters.forEach((k, v) -> all.add(quoted(k) + ":" + quoted(v)));
-        all.add("\"policy\":" + quoted(policy));
+        parameters.forEach((k, v) -> all.add(Json.quoted(k) + ":" + Json.quoted(v)));
+        all.add("\"policy\":" + Json.quoted(policy));
         all.add("\"seed\":" + seed);
-        figures.forEach((k, v) -> all.add(quoted(k) + ":" + number(v)));
-        broken.forEach((k, v) -> all.add(quoted("broken_" + k) + ":" + v));
+        figures.forEach((k, v) -> all.add(Json.quoted(k) + ":" + number(v)));
+        broken.forEach((k, v) -> all.add(Json.quoted("broken_" + k) + ":" + v));
         return "{" + String.join(",", all) + "}";
     }
 
-    static String quoted(String s) {
-        return "\"" + s.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
-    }
-
     static String number(double v) {
         return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.format(Locale.ROOT, "%.6f", v);
     }
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -6,8 +6,7 @@
 
 /** One rule: when it matches, and what it makes of a message then; each result an expression of its own. */
 final class Rule {
-    /** A result that was evaluated: it is set once all results of the rule could be. */
-    private static final long MOST_KEY = 512;
+    private static final int MOST_KEY = 512;
 
     final String name;
     final Program when;               // null: always
@@ -18,7 +17,7 @@
     int priority = -1;
     long matched, errors;
 
-    // results of the last evaluation
+    // results of the last evaluation: they are set once all of them could be had
     private int clsResult, tenantResult;
     private long destinationResult, deadlineResult, refuseResult;
     private String keyResult, limitKey;
