Second address, figures, detached endpoints, drain and return

The module sees what is ready again as cold; a draining endpoint is known to it from the first list on, else one detached before a kill was counted nowhere and messages for it refused. Ruled out while testing: figures that counted the start's own warm-up requests as refused (3 of them).

--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -2,8 +2,11 @@
 
 import elderseam.cloudevents.EventConfig;
 import elderseam.cloudevents.EventFront;
+import elderseam.control.ControlServer;
+import elderseam.control.Operators;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
+import elderseam.core.Lifecycle;
 import elderseam.core.Relay;
 import elderseam.core.Rulings;
 import elderseam.http.Connections;
@@ -31,6 +34,7 @@
 final class Daemon {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
+    private static final long KEPT_NS = 700 * Clock.MS, AGAIN_NS = 50 * Clock.MS;   // idle clients in a drain: from when, how often
     private static final int MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
 
@@ -42,6 +46,9 @@
     private final Path settingsFile;
     private final Settings settings;
     private final Journal journal;
+    private final Lifecycle life = new Lifecycle();
+    private final ControlServer control;   // null where there is none
+    private boolean looking;          // for connections of clients that stand idle in a drain
     private volatile Rules rules;         // null while there are none
     private EventsWiring second; // null while it is off
     private Gossip gossip;       // null while it is off
@@ -71,9 +78,10 @@
         Config config = Config.read(variables);
         Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
         Io io = new Io(clock);
+        ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
         io.run(() -> {
             try {
-                new Daemon(config, told, settingsFile, journal, io, born).begin(variables);
+                new Daemon(config, told, settingsFile, journal, io, control, born).begin(variables);
             } catch (SettingsFault e) {
                 e.faults().forEach(System.err::println);
                 Runtime.getRuntime().halt(1);
@@ -84,13 +92,15 @@
         });
     }
 
-    private Daemon(Config config, OperatorFile.Read told, Path settingsFile, Journal journal, Io io, long born) throws IOException {
+    private Daemon(Config config, OperatorFile.Read told, Path settingsFile, Journal journal, Io io, ControlServer control,
+                   long born) throws IOException {
         EventConfig events = told.events();
         this.settings = told.settings();
         this.settingsFile = settingsFile;
         this.config = config;
         this.io = io;
         this.journal = journal;
+        this.control = control;
         this.born = born;
         var module = config.settings().settings();
         Limits limits = config.limits();
@@ -102,7 +112,7 @@
         io.onAway(relay::away);
         boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !journal.schemes().isEmpty();
         rules = ruled ? new RulesWiring(io, config.settings(), RulesWiring.load(config.settings(), settings), relay, journal) : null;
-        front = new PlatformFront(io, platform, discovery(config), relay, config.settings(), rules);
+        front = new PlatformFront(io, platform, discovery(config), relay, config.settings(), rules, life);
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         discovery = new Discovery(io, platform, discovery(config), hosts, relay);
         relay.onWatch(discovery::watch);
@@ -131,11 +141,15 @@
         discovery.known(config.known());
         relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(),
                 config.settings().names("services").get(0), () -> {
-            front.ready();
+            life.started();
             System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for "
                     + io.longestAway() / Clock.MS + " ms at most");
         }));
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
+        if (control != null) {
+            control.handler(new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin)::carryOut);
+            System.err.println("control on " + control.address());
+        }
         Reload.onHangUp(() -> reading(variables), io::run);
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
@@ -182,6 +196,30 @@
         };
     }
 
+    /** LAMEDUCK: no new clients; those that are there are answered, and their connections closed. Nothing that is held ends by it. */
+    private void lameDuck() {
+        System.err.println("lame duck");
+        servers.forEach(s -> s.closing(true));
+        if (!looking) {
+            looking = true;
+            io.at(io.clock.now() + KEPT_NS, this::closeKept);
+        }
+    }
+
+    private void closeKept() {
+        looking = life.closing();
+        if (looking) {
+            servers.forEach(Server::closeIdle);
+            life.clients(servers.stream().allMatch(s -> s.open() == 0));
+            io.at(io.clock.now() + AGAIN_NS, this::closeKept);
+        }
+    }
+
+    private void rejoin() {
+        System.err.println("back to work");
+        servers.forEach(s -> s.closing(false));
+    }
+
     /** On SIGTERM: answers all that comes, settles what is out, and ends with 0. */
     private void drain() {
         long start = io.clock.now();
@@ -190,8 +228,8 @@
             if (gossip != null) {
                 gossip.leave();
             }
-            front.closing();
-            servers.forEach(Server::closing);
+            life.end();
+            servers.forEach(s -> s.closing(true));
             relay.closing(start + END_NS);
             System.err.println("draining");
             io.at(start + COMING_NS, () -> {
--- a/src/main/java/elderseam/cloudevents/EventUpstream.java
+++ b/src/main/java/elderseam/cloudevents/EventUpstream.java
@@ -29,7 +29,7 @@
     public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
         EventCodec.Outgoing o = EventCodec.outgoing(m.body());
         return connections.send(hosts.apply(host), new Call("POST", "/events", o.headers(), o.payload()), connectBy, answerBy,
-                attempt::mayLeave, r -> attempt.answeredLate(meaning(r)), r -> attempt.ended(meaning(r)))::abandon;
+                attempt::mayLeave, attempt::written, r -> attempt.answeredLate(meaning(r)), r -> attempt.ended(meaning(r)))::abandon;
     }
 
     @Override
--- a/src/main/java/elderseam/core/Attempt.java
+++ b/src/main/java/elderseam/core/Attempt.java
@@ -8,6 +8,10 @@
      */
     boolean mayLeave();
 
+    /** Its last byte was handed to the network: from now on it may run. */
+    default void written() {
+    }
+
     /** Its end, once. */
     void ended(UpstreamRequest.End end);
 
--- a/src/main/java/elderseam/core/Copies.java
+++ b/src/main/java/elderseam/core/Copies.java
@@ -9,13 +9,15 @@
     private final Clock clock;
     private final Loop loop;
     private final Map<Byte, Front> fronts;
+    private final Figures figures;
     private final Twins twins = new Twins();
 
-    Copies(Journal journal, Clock clock, Loop loop, Map<Byte, Front> fronts) {
+    Copies(Journal journal, Clock clock, Loop loop, Map<Byte, Front> fronts, Figures figures) {
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
         this.fronts = fronts;
+        this.figures = figures;
     }
 
     /** It is the first of its key. */
@@ -87,6 +89,7 @@
     }
 
     private void end(Stream.Message m, Answer answer) {
+        figures.ended(m.cls(), answer);
         journal.ended(m, answer, true);
         fronts.get(m.front()).ended(m, answer);
     }
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -107,6 +107,12 @@
         brain.breakers(now, each);
     }
 
+    /** The list as the module uses it now. */
+    Sender.Listed listed(long time) {
+        now = Math.max(now, time);
+        return brain.listed(now);
+    }
+
     /** What others say of a destination. */
     void advise(long time, long destination, double doubt, double trying) {
         now = Math.max(now, time);
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -11,8 +11,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What must outlast the process: each message taken on, its attempts, its end, and whether that was told. One file of
@@ -53,6 +55,8 @@
     private final Clock clock;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final JournalKeys keys = new JournalKeys();
+    private final Set<String> detached = new LinkedHashSet<>();
+    private long detachedBytes;
     private long size;
     private long live;
     private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
@@ -109,6 +113,31 @@
         return true;
     }
 
+    /** An operator takes a host out of use, or gives it back; false where there is no room for that. */
+    boolean detach(String host, boolean out) {
+        byte[] record = JournalRecords.detached(host, out);
+        if (detached.contains(host) == out) {
+            return true;
+        }
+        if (out && 2 * (live + record.length) > cap || !append(record)) {
+            return false;
+        }
+        detached(host, out, record.length);
+        return true;
+    }
+
+    private void detached(String host, boolean out, int bytes) {
+        if (out ? detached.add(host) : detached.remove(host)) {
+            live += out ? bytes : -bytes;
+            detachedBytes += out ? bytes : -bytes;
+        }
+    }
+
+    /** The hosts that are taken out of use. */
+    Set<String> detached() {
+        return Set.copyOf(detached);
+    }
+
     /** No scheme yields keys any more. */
     public void noScheme() {
         keys.none();
@@ -182,7 +211,7 @@
             }
             return past;
         });
-        live = entries.values().stream().mapToLong(Entry::weight).sum() + keys.weight();
+        live = entries.values().stream().mapToLong(Entry::weight).sum() + keys.weight() + detachedBytes;
     }
 
     private static byte[] endRecord(String id, Entry e) {
@@ -299,6 +328,9 @@
             for (Map.Entry<String, byte[]> x : keys.schemes().entrySet()) {
                 at = writeAt(fresh, at, JournalRecords.scheme(x.getKey(), x.getValue()));
             }
+            for (String host : detached) {
+                at = writeAt(fresh, at, JournalRecords.detached(host, true));
+            }
             for (Map.Entry<String, Entry> x : entries.entrySet()) {
                 Entry e = x.getValue();
                 if (keys.of(x.getKey()) != null) {
@@ -375,6 +407,7 @@
         Entry e = entries.get(id);
         switch (type) {
             case JournalRecords.KEYED -> keys.put(id, in.readUTF());
+            case JournalRecords.DETACHED -> detached(id, in.readBoolean(), HEAD + bytes);
             case JournalRecords.SCHEME -> {
                 byte[] text = new byte[in.readInt()];
                 in.readFully(text);
--- a/src/main/java/elderseam/core/JournalRecords.java
+++ b/src/main/java/elderseam/core/JournalRecords.java
@@ -8,7 +8,7 @@
 
 /** The bytes of the journal's records: length and checksum (4 each), then the type, the id and what the type holds. */
 final class JournalRecords {
-    static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6, KEYED = 7, JOINED = 8, SCHEME = 9;
+    static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6, KEYED = 7, JOINED = 8, SCHEME = 9, DETACHED = 10;
     static final int HEAD = 8, MOST = 256 << 10;
 
     interface Writing {
@@ -76,6 +76,11 @@
         });
     }
 
+    /** Of an endpoint's id: whether it is taken out of use. */
+    static byte[] detached(String host, boolean out) {
+        return encode(DETACHED, host, to -> to.writeBoolean(out));
+    }
+
     static byte[] ended(String id, byte front, long keepMs, Answer answer, boolean owed) {
         return encode(ENDED, id, out -> {
             out.writeByte(front);
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -30,6 +30,8 @@
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
     private final Copies copies;
+    private final Detached detached;
+    private final Figures figures;
     private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
     private Runnable watch = () -> { };
     private boolean turning, postponed, recovering;
@@ -46,7 +48,9 @@
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
-        this.copies = new Copies(journal, clock, loop, fronts);
+        this.detached = new Detached(journal.detached());
+        this.figures = new Figures(settings.classes().size());
+        this.copies = new Copies(journal, clock, loop, fronts, figures);
         this.facade = new Facade(settings, seed, log);
     }
 
@@ -63,10 +67,42 @@
 
     /** The list of hosts, or that it could not be had. */
     public void hosts(Sender.ListKind kind, List<Sender.Endpoint> hosts) {
-        facade.report(clock.now(), kind, hosts);
+        facade.report(clock.now(), kind, detached.over(kind, hosts));
         turn();
     }
 
+    /** What came of an operator's word on a host. */
+    public enum Detaching { DONE, UNKNOWN, NO_ROOM }
+
+    /**
+     * An operator takes a host out of use, or gives it back; either may come again. It is in the journal before this returns,
+     * so it outlasts the process, and whatever the list says meanwhile the module sees the host as draining.
+     */
+    public Detaching detach(String host, boolean out) {
+        if (!detached.knows(host)) {
+            return Detaching.UNKNOWN;
+        }
+        if (out && !detached.has(host) && detached.full() || !journal.detach(host, out)) {
+            return Detaching.NO_ROOM;
+        }
+        if (detached.has(host) != out) {
+            facade.report(clock.now(), Sender.ListKind.CHANGES, detached.set(host, out));
+            turn();
+        }
+        return Detaching.DONE;
+    }
+
+    /** The figures, a line each; {@code classes}: their names. */
+    public List<String> figures(List<String> classes) {
+        List<String> lines = new ArrayList<>();
+        figures.lines(classes, lines);
+        Sender.Listed listed = facade.listed(clock.now());
+        lines.add("edge_relay.inflight=" + held());
+        lines.add("edge_relay.hosts_listed=" + listed.hosts());
+        lines.add("edge_relay.hosts_down=" + listed.down());
+        return lines;
+    }
+
     /**
      * Takes back what the journal holds unfinished, as {@link Recovery} says, with a pass over the sockets between two
      * portions; answers that an earlier process still owed go to their fronts first. {@code ready} is run once, when
@@ -150,12 +186,12 @@
             known = copies.answerOf(message.same(), also);
             Stream first = known == null ? copies.first(message.same(), also) : null;
             if (known != null || first != null) {
-                return known != null ? known : room() && copies.join(message, first) ? null : Answer.refused(ROOM_AGAIN_NS);
+                return known != null ? known : room() && copies.join(message, first) ? null : turnedAway(message);
             }
         }
         Stream s = new Stream(message);
         if (!facade.serves(clock.now(), message.destination()) || !room() || !journal.taken(message)) {
-            return Answer.refused(ROOM_AGAIN_NS);
+            return turnedAway(message);
         }
         streams.put(s.id(), s);
         if (!message.same().isEmpty()) {
@@ -167,6 +203,14 @@
         return s.answer;
     }
 
+    private Answer turnedAway(Stream.Message message) {
+        Answer answer = Answer.refused(ROOM_AGAIN_NS);
+        if (message.destination() != NOWHERE) {   // that is the program's own, at its start
+            figures.ended(message.cls(), answer);
+        }
+        return answer;
+    }
+
     private boolean room() {
         return streams.size() + copies.size() < settings.mostHeld();
     }
@@ -361,6 +405,11 @@
             return facade.mayCall(clock.now(), host);
         }
 
+        @Override
+        public void written() {
+            figures.called(stream.message.cls());
+        }
+
         @Override
         public void ended(UpstreamRequest.End end) {
             out(stream.message.destination(), -1);
@@ -397,6 +446,7 @@
         boolean unsure = decided.kind() == Answer.Kind.REFUSED && s.mayHaveRun && !s.message.same().isEmpty();
         Answer answer = unsure ? Answer.FAILED : decided;
         s.answer = answer;
+        figures.ended(s.message.cls(), answer);
         streams.remove(s.id());
         journal.ended(s.message, answer, s.owned);
         if (s.owned) {
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -120,14 +120,14 @@
 
     /** Sends a request; {@code done} is told once, never from within this call. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
-        return send(host, call, connectBy, answerBy, () -> true, null, done);
+        return send(host, call, connectBy, answerBy, () -> true, () -> { }, null, done);
     }
 
-    /** The same; {@code mayLeave} is asked before bytes leave, and {@code late}, where there is one, is told of an
+    /** The same; {@code mayLeave} is asked before bytes leave, {@code written} is run once the last one has, and {@code late}, where there is one, is told of an
      *  answer that came after the request was given up: for a second more its connection is listened to. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, BooleanSupplier mayLeave,
-                        Consumer<Reply> late, Consumer<Reply> done) {
-        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, late, done);
+                        Runnable written, Consumer<Reply> late, Consumer<Reply> done) {
+        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, written, late, done);
         r.start();
         return r;
     }
@@ -203,6 +203,7 @@
         private final ByteBuffer bytes;
         private final long connectBy, answerBy;
         private final BooleanSupplier mayLeave;
+        private final Runnable written;
         private final Consumer<Reply> late, done;
         private final AnswerReader answer = new AnswerReader(mostBody);
         private Progress progress = Progress.NOT_CONNECTED;
@@ -213,12 +214,13 @@
         private boolean answering, over;
 
         private Request(UpstreamHost host, ByteBuffer bytes, long connectBy, long answerBy, BooleanSupplier mayLeave,
-                        Consumer<Reply> late, Consumer<Reply> done) {
+                        Runnable written, Consumer<Reply> late, Consumer<Reply> done) {
             this.host = host;
             this.bytes = bytes;
             this.connectBy = connectBy;
             this.answerBy = answerBy;
             this.mayLeave = mayLeave;
+            this.written = written;
             this.late = late;
             this.done = done;
         }
@@ -303,6 +305,7 @@
                 if (!over) {
                     to.suspendWrites();
                     progress = Progress.WRITTEN;
+                    written.run();
                 }
             } catch (IOException x) {
                 finish(Status.BROKEN);
--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/Downstreams.java
@@ -150,6 +150,19 @@
         return unanswered;
     }
 
+    int open() {
+        return open.size();
+    }
+
+    /** A request that lies unread in its socket must not be closed upon, so a pass over the sockets is made before. */
+    void closeIdle() {
+        io.afterReading(() -> {
+            long now = io.clock.now();
+            open.values().stream().filter(d -> d.state == State.IDLE || d.state == State.READING && d.first
+                    && !d.heads.begun() && now - d.since > SILENT_NS).toList().forEach(this::close);
+        });
+    }
+
     private boolean makeRoom() {
         long now = io.clock.now();
         Downstream given = open.values().stream().min(Comparator.comparingInt(d -> d.rank(now))).orElseThrow();
--- a/src/main/java/elderseam/http/HeadCheck.java
+++ b/src/main/java/elderseam/http/HeadCheck.java
@@ -26,6 +26,11 @@
         length = 0;
     }
 
+    /** Whether a byte of a head has come. */
+    boolean begun() {
+        return !inHead || !firstLine || length > 0;
+    }
+
     /** Whether the head that has passed was none. */
     boolean bad() {
         return bad;
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -186,9 +186,19 @@
         x.getResponseSender().send(ByteBuffer.wrap(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     }
 
-    /** From now on each answer closes its connection; new ones are still taken. */
-    public void closing() {
-        closing = true;
+    /** Whether each answer from now on closes its connection; new ones are taken all the same. */
+    public void closing(boolean closing) {
+        this.closing = closing;
+    }
+
+    /** Closes the connections that carry nothing, once all that has arrived is read. */
+    public void closeIdle() {
+        downstreams.closeIdle();
+    }
+
+    /** Open connections. */
+    public int open() {
+        return downstreams.open();
     }
 
     /** Requests read, or being read, and not answered. */
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -88,13 +89,85 @@
         final long[] restUntil;
         Call batch;
 
-        Target(String address, int zone, Destination dest, Brain.Circuit circuit, int classes) {
+        private final long coldNs;
+        private boolean served;      // was listed before: one that first comes as draining has served, too
+        long coldFrom, nextCold;     // when it came back, and the next call there while it is cold
+
+        Target(String address, int zone, Destination dest, Brain.Circuit circuit, Sender.Settings settings) {
             this.address = address;
             this.dest = dest;
             this.zone = zone;
             this.circuit = circuit;
-            this.failures = new int[classes];
-            this.restUntil = new long[classes];
+            this.failures = new int[settings.classes().size()];
+            this.restUntil = new long[settings.classes().size()];
+            this.coldNs = settings.coldNs();
+        }
+
+        /** What is ready again after it was not may have been started anew: it counts as cold, and so does its destination
+         *  where no other endpoint of it is ready. */
+        void listed(boolean nowReady, long now) {
+            if (nowReady && !ready && served) {
+                coldFrom = now;
+                if (dest.targets.stream().noneMatch(t -> t.ready)) {
+                    circuit.warmUp(now);
+                }
+            }
+            ready = nowReady;
+            served = true;
+        }
+
+        boolean cold(long now) {
+            return coldFrom != 0 && now - coldFrom < coldNs;
+        }
+
+        /** A call begins; {@code rate}: what its destination stands while as cold as this one, of which it has its part. */
+        void called(long now, double rate) {
+            nextCold = cold(now) ? now + (long) (1e9 * dest.targets.size() / rate) : 0;
+        }
+
+        /** Whether nothing is sent there now: by the list, by hand, asleep or in a told wait. */
+        private boolean avoided(long now) {
+            return !ready || now < circuit.waitUntil || circuit.state == Brain.State.OPEN && now < circuit.openUntil;
+        }
+    }
+
+    static Sender.Listed listed(Collection<Target> targets, long now) {
+        int listed = 0, down = 0;
+        for (Target t : targets) {
+            listed += t.gone ? 0 : 1;
+            down += !t.gone && t.avoided(now) ? 1 : 0;
+        }
+        return new Sender.Listed(listed, down);
+    }
+
+    /** What each tenant has left of its share. */
+    static final class Tenants {
+        private final Sender.Settings settings;
+        private final double[] level;
+        private long refilled;
+
+        Tenants(Sender.Settings settings, long now) {
+            this.settings = settings;
+            this.level = settings.tenantRates().stream().mapToDouble(rate -> 2 * rate / settings.senders()).toArray();
+            this.refilled = now;
+        }
+
+        /** The worth of a message of that tenant now: full within its share. */
+        double share(long now, int tenant) {
+            double dt = (now - refilled) / 1e9;
+            refilled = now;
+            for (int i = 0; i < level.length; i++) {
+                double rate = settings.tenantRates().get(i) / settings.senders();
+                level[i] = Math.min(5 * rate, level[i] + rate * dt);
+            }
+            if (tenant < 0 || tenant >= level.length) {
+                return 1;
+            }
+            if (level[tenant] >= 1) {
+                level[tenant]--;
+                return 1;
+            }
+            return settings.overShareWorth();
         }
     }
 
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -136,9 +136,9 @@
             return (long) (longer * (0.75 + 0.5 * random.nextDouble()));
         }
 
-        double rampRate(long now) {
+        double rampRate(long now, long from) {
             double base = Math.max(norm, weight / settings.senders());
-            double warm = (double) (now - rampFrom) / Math.max(1, settings.coldNs());
+            double warm = Math.min(1, (double) (now - from) / Math.max(1, settings.coldNs()));
             base *= Math.max(1, settings.fallMultiple() / MARGIN);
             return base * (settings.coldShare() + (1 - settings.coldShare()) * warm);
         }
@@ -147,7 +147,7 @@
             if (ramping && now - rampFrom >= settings.coldNs()) {
                 ramping = false;
             }
-            return ramping ? Math.min(pace, rampRate(now)) : pace;
+            return ramping ? Math.min(pace, rampRate(now, rampFrom)) : pace;
         }
 
         void refill(long now) {
@@ -412,12 +412,12 @@
     private final Map<Long, Lane> lanes = new HashMap<>();
     private final List<Destination> bare = new ArrayList<>();       // no endpoint is listed
     private final Set<Held> resting = new LinkedHashSet<>();        // the last of their lanes, which rest yet
-    private final double[] tenantLevel;
+    private Books.Tenants tenants;
     private final Window losses = new Window(BUCKETS, BUCKET_NS);   // of answers, over all destinations
     private final List<Held> candidates = new ArrayList<>();
     private final List<Target> used = new ArrayList<>();            // calls there ended in this turn
     private final long[] keepNs, keepUntil;                         // by kind: idle connections, until when
-    private long tenantRefilled, subscribeAt;
+    private long subscribeAt;
     private int live, callsOut, subscribeFailures;
     private long turn, seq, measuredAt = Long.MIN_VALUE / 2;
     private double fleetUsual, slowdown = 1;
@@ -432,7 +432,6 @@
         this.keepNs = new long[settings.kinds().size()];
         this.keepUntil = new long[settings.kinds().size()];
         Arrays.fill(keepUntil, Long.MIN_VALUE);
-        this.tenantLevel = new double[settings.tenantRates().size()];
         fleetUsual = settings.classes().stream().mapToLong(c -> c.aimNs()).min().orElse(0) / 8.0;
     }
 
@@ -441,11 +440,8 @@
             throw new IllegalArgumentException("time went back from " + clock + " to " + now);
         }
         if (clock == Long.MIN_VALUE) {
-            tenantRefilled = now;
             subscribeAt = now;
-            for (int i = 0; i < tenantLevel.length; i++) {
-                tenantLevel[i] = 2 * settings.tenantRates().get(i) / settings.senders();
-            }
+            tenants = new Books.Tenants(settings, now);
         }
         clock = now;
     }
@@ -468,10 +464,10 @@
             targets.values().forEach(t -> t.gone = true);
         }
         for (Sender.Endpoint e : entries) {
-            boolean known = targets.containsKey(e.address()) || e.listing() != Sender.Listing.READY;
-            Target t = known ? targets.get(e.address()) : add(e, now);
+            boolean known = targets.containsKey(e.address());
+            Target t = known || e.listing() == Sender.Listing.GONE ? targets.get(e.address()) : add(e, now);
             if (t != null) {
-                t.ready = e.listing() == Sender.Listing.READY;
+                t.listed(e.listing() == Sender.Listing.READY, now);
                 t.gone = e.listing() == Sender.Listing.GONE;
                 if (settings.rates() != Sender.Rates.UNTOLD && t.ready) {
                     t.circuit.weight = e.weight();
@@ -527,7 +523,7 @@
         } else {
             c = d.circuits.get(0);
         }
-        Target t = new Target(e.address(), e.zone(), d, c, settings.classes().size());
+        Target t = new Target(e.address(), e.zone(), d, c, settings);
         t.bias = random.nextDouble();
         d.targets.add(t);
         targets.put(e.address(), t);
@@ -548,7 +544,7 @@
         if (cls.ordered() && msg.orderKey() >= 0) {
             lane = lanes.computeIfAbsent(msg.orderKey(), k -> new Lane());
         }
-        Held m = new Held(msg, cls, d, lane, cls.worth() * tenantShare(now, msg.tenant()), seq++);
+        Held m = new Held(msg, cls, d, lane, cls.worth() * tenants.share(now, msg.tenant()), seq++);
         held.put(msg.id(), m);
         live++;
         if (lane != null) {
@@ -580,23 +576,6 @@
         }
     }
 
-    private double tenantShare(long now, int tenant) {
-        double dt = (now - tenantRefilled) / 1e9;
-        tenantRefilled = now;
-        for (int i = 0; i < tenantLevel.length; i++) {
-            double rate = settings.tenantRates().get(i) / settings.senders();
-            tenantLevel[i] = Math.min(5 * rate, tenantLevel[i] + rate * dt);
-        }
-        if (tenant < 0 || tenant >= tenantLevel.length) {
-            return 1;
-        }
-        if (tenantLevel[tenant] >= 1) {
-            tenantLevel[tenant]--;
-            return 1;
-        }
-        return settings.overShareWorth();
-    }
-
     @Override
     public void outcome(long now, Sender.Outcome o) {
         advance(now);
@@ -670,6 +649,11 @@
         targets.values().stream().map(t -> t.dest).distinct().forEach(d -> each.accept(d.id, d.breaker(now)));
     }
 
+    @Override
+    public Sender.Listed listed(long now) {
+        return Books.listed(targets.values(), now);
+    }
+
     @Override
     public void advised(long now, long id, double doubt, double trying) {
         destinations.computeIfPresent(id, (i, d) -> d.advised(doubt, trying));
@@ -1034,7 +1018,8 @@
             if (!t.ready || !maySend(m, now, t.zone) || now > closesAt - CLOSING * t.circuit.usualNs()) {
                 continue;
             }
-            if (!joins(t) && (full || !t.circuit.lends(now))) {
+            if (!joins(t) && (full || !t.circuit.lends(now) || t.cold(now) && now < t.nextCold)) {
+                due(t.nextCold);
                 continue;
             }
             int k = m.msg.cls();
@@ -1068,6 +1053,7 @@
                     call.idleNs = idle;
                 }
             }
+            t.called(now, c.rampRate(now, t.coldFrom));
             t.batch = call;
             t.out++;
             callsOut++;
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -131,6 +131,9 @@
     /** A destination as its breaker has it: {@code calls} of the last 10 s, {@code failed} of them, what is left of a told wait. */
     record Breaker(Standing standing, int calls, int failed, long waitNs) {}
 
+    /** Endpoints on the list, and those of them that get nothing now: draining, by hand or by choice. */
+    record Listed(int hosts, int down) {}
+
     /** How one attempt ended. {@code waitNs}: the told wait, 0 if none. {@code noSlot}: with NOT_SENT, no
      *  slot was free. {@code over}: the message is finished, by this outcome or earlier; else an answer
      *  is owed. */
@@ -172,6 +175,9 @@
         /** How every destination that is listed stands now. */
         void breakers(long now, BiConsumer<Long, Breaker> each);
 
+        /** The list as the sender uses it now. */
+        Listed listed(long now);
+
         /**
          * What others say of a destination, until told otherwise. {@code doubt}, 0 to 1: how much less own evidence trips its
          * breaker; alone it trips nothing. {@code trying}: how many senders will try it about when it returns; a sleeping
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
- *  SIGHUP. Where both name discovery the file counts, since it may have been replaced. */
-public record Config(InetSocketAddress listen, String discovery, Path state, long seed, Limits limits,
+ *  SIGHUP; {@code control}, the second address, may be null. Where both name discovery the file counts, since it may have been replaced. */
+public record Config(InetSocketAddress listen, InetSocketAddress control, String discovery, Path state, long seed, Limits limits,
                      SettingsMap settings, Json known) {
 
     public static Config read(Map<String, String> variables) throws IOException {
@@ -27,7 +27,9 @@
         Json told = json.at("limits");
         Limits limits = new Limits((long) (told.at("disk_mb").real(3) * 1_000_000),
                 (int) told.at("sockets").whole(1_024), (int) told.at("memory_mb").whole(192));
-        return new Config(address(told(variables, "RELAY_LISTEN")), discovery,
+        String control = variables.getOrDefault("RELAY_CONTROL", "");   // a second process has its own, and may find the first one's file
+        control = control.isEmpty() ? json.at("control").text("") : control;
+        return new Config(address(told(variables, "RELAY_LISTEN")), control.isEmpty() ? null : address(control), discovery,
                 Path.of(told(variables, "RELAY_STATE")), seed, limits, new SettingsMap(paths), json.at("known"));
     }
 
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -3,6 +3,7 @@
 import elderseam.core.Answer;
 import elderseam.core.Clock;
 import elderseam.core.Front;
+import elderseam.core.Lifecycle;
 import elderseam.core.Relay;
 import elderseam.core.Rulings;
 import elderseam.core.SettingsMap;
@@ -29,11 +30,13 @@
     private final Relay relay;
     private final Notices notices;
     private final List<String> classes, tenants;
+    private final Lifecycle life;
     private Rulings rulings;   // null while there are none
-    private boolean ready, closing;
 
     /** {@code rulings}: the operator's rules, or null. */
-    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings, Rulings rulings) {
+    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings, Rulings rulings,
+                         Lifecycle life) {
+        this.life = life;
         this.clock = io.clock;
         this.relay = relay;
         this.rulings = rulings;
@@ -49,7 +52,7 @@
 
     public void handle(Request r, Answerer to) {
         if (r.path().equals("/health/ready")) {
-            to.answer(ready && !closing ? 200 : 503, Map.of(), "");
+            to.answer(life.ready() ? 200 : 503, Map.of(), "");
             return;
         }
         Object read = decode(r);
@@ -128,16 +131,6 @@
         notices.tell();
     }
 
-    /** The process is to end; no new client is to come. */
-    public void closing() {
-        closing = true;
-    }
-
-    /** What an earlier process left has been taken back: clients may come. */
-    public void ready() {
-        ready = true;
-    }
-
     /** The platform's place for notices is elsewhere from now on. */
     public void move(UpstreamHost platform) {
         notices.move(platform);
--- a/src/main/java/elderseam/platform/PlatformUpstream.java
+++ b/src/main/java/elderseam/platform/PlatformUpstream.java
@@ -42,7 +42,7 @@
         }
         headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
         return connections.send(hosts.host(host), new Call("POST", "/receive", headers, m.body()), connectBy, answerBy,
-                attempt::mayLeave, r -> attempt.answeredLate(meaning(r, fields)),
+                attempt::mayLeave, attempt::written, r -> attempt.answeredLate(meaning(r, fields)),
                 r -> attempt.ended(meaning(r, fields)))::abandon;
     }
 
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -101,7 +101,7 @@
             Call call = new Call("POST", "/x", Map.of(), new byte[10]);
             long by = io.clock.now() + 10_000 * Clock.MS;
             CompletableFuture<Reply> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
-            io.run(() -> connections.send(host, call, by, by, () -> false, null, held::complete));
+            io.run(() -> connections.send(host, call, by, by, () -> false, () -> { }, null, held::complete));
             check(Progress.NOT_CONNECTED, Status.HELD, held);
             io.run(() -> connections.send(host, new Call("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
             try (Socket s = server.accept()) {
@@ -122,7 +122,7 @@
             for (boolean before : List.of(true, false)) {
                 CompletableFuture<Reply> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
                 CompletableFuture<Connections.Request> request = new CompletableFuture<>();
-                io.run(() -> request.complete(connections.send(host, call, by, by, () -> true, late::complete, reply::complete)));
+                io.run(() -> request.complete(connections.send(host, call, by, by, () -> true, () -> { }, late::complete, reply::complete)));
                 try (Socket s = server.accept()) {
                     InputStream in = s.getInputStream();
                     head(in);
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -30,6 +30,7 @@
  * hN         an upstream host; odd N serve destination 1, even N destination 2
  * platform   discovery and the place for notices; it answers by itself: 204, and the watch
  * relay      the program
+ * operator   calls on the second address
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
  * send       a client: METHOD PATH; Header: value; ... | body ({64K}: a long one)    a host: CODE; Header: value | body
@@ -43,6 +44,7 @@
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
  * expect     relay: a line of its log, of this start and not passed over yet, holds these words
+ * ask        operator: this line on the second address -> what the answer holds, each of these parts (set apart by ;)
  * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
  *            reload (done), kept (the old configuration), exit CODE
  * </pre>
@@ -69,6 +71,7 @@
     private BlockingQueue<String> said = new LinkedBlockingQueue<>();
     private String events = "", listen = "127.0.0.1:0";
     private int nice;
+    private boolean operated = true;
     private String flag = "-Xshare:auto";
 
     /** A stand-in upstream host. */
@@ -143,6 +146,8 @@
     private void step(String party, String verb, String words) throws Exception {
         if (party.equals("relay")) {
             relay(verb, words);
+        } else if (party.equals("operator")) {
+            ask(words.split("->"));
         } else if (party.equals("platform")) {
             platform(verb, words);
         } else if (hosts.containsKey(party)) {
@@ -187,6 +192,28 @@
         }
     }
 
+    private void ask(String[] part) throws Exception {
+        long since = System.nanoTime();
+        holds(told(part[0].strip() + "\n"), part[1]);
+        assertTrue(System.nanoTime() - since < 1_000_000_000L, "answered too late");
+    }
+
+    /** What these bytes on the second address are answered, to the end of the connection. */
+    String told(String line) throws Exception {
+        String[] at = front('o').split(":");
+        try (Socket s = new Socket(at[0], Integer.parseInt(at[1]))) {
+            s.setSoTimeout(1_000 * (int) Wire.PATIENCE_S);
+            s.getOutputStream().write(line.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+            return new String(s.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** A figure as INFO has it. */
+    long figure(String name) throws Exception {
+        return told("INFO\n").lines().filter(l -> l.startsWith("edge_relay." + name + "=")).findFirst()
+                .map(l -> Long.parseLong(l.substring(l.indexOf('=') + 1))).orElseThrow();
+    }
+
     private void signal(String name) throws Exception {
         new ProcessBuilder("sh", "-c", "kill -" + name + " " + program.pid()).start().waitFor();
     }
@@ -285,6 +312,11 @@
         return links.get(name);
     }
 
+    /** Whether that front has told where it listens. */
+    boolean listens(char which) {
+        return fronts.get(which).isDone();
+    }
+
     /** Where a front (c or e) listens, once it does; d: once the program drains. */
     String front(char which) throws IOException {
         try {
@@ -314,6 +346,11 @@
         events = lines;
     }
 
+    /** The next start has no second address. */
+    void withoutControl() {
+        operated = false;
+    }
+
     /** The next start has no second front. */
     void withoutEvents() {
         listen = "off";
@@ -425,11 +462,15 @@
         b.environment().putAll(Map.of("RELAY_NAME", "n1", "RELAY_LISTEN", "127.0.0.1:0", "RELAY_DISCOVERY",
                 Wire.address(platform), "RELAY_STATE", folder.resolve("state").toString(), "RELAY_CONFIG",
                 folder.resolve("config.json").toString()));
+        if (operated) {
+            b.environment().put("RELAY_CONTROL", "127.0.0.1:0");
+        }
         links.clear();
         program = b.redirectErrorStream(true).start();
         CompletableFuture<String> serving = new CompletableFuture<>(), eventing = new CompletableFuture<>(),
-                draining = new CompletableFuture<>(), reloaded = new CompletableFuture<>(), kept = new CompletableFuture<>();
-        fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept));
+                draining = new CompletableFuture<>(), reloaded = new CompletableFuture<>(), kept = new CompletableFuture<>(),
+                operating = new CompletableFuture<>();
+        fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept, 'o', operating));
         BufferedReader log = program.inputReader();
         BlockingQueue<String> words = new LinkedBlockingQueue<>();
         said = words;
@@ -441,6 +482,8 @@
                     words.add(line);
                     if (line.startsWith("events on /")) {
                         eventing.complete(line.substring(11));
+                    } else if (line.startsWith("control on /")) {
+                        operating.complete(line.substring(12));
                     } else if (line.equals("draining")) {
                         draining.complete(line);
                     } else if (line.startsWith("configuration read again")) {
