--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -6,6 +6,7 @@
 import elderseam.control.Operators;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
+import elderseam.core.Json;
 import elderseam.core.Lifecycle;
 import elderseam.core.Relay;
 import elderseam.core.Rulings;
@@ -18,25 +19,33 @@
 import elderseam.platform.Discovery;
 import elderseam.platform.Hosts;
 import elderseam.platform.Limits;
+import elderseam.platform.Passing;
 import elderseam.platform.PlatformFront;
 import elderseam.platform.PlatformUpstream;
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
+import elderseam.upgrade.Frame;
+import elderseam.upgrade.Giving;
+import elderseam.upgrade.Link;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 
 /** One dispatcher, in the order of its life: start, recovery, readiness, reload, drain. */
-final class Daemon {
+final class Daemon implements Succession.Estate {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
     private static final long KEPT_NS = 700 * Clock.MS, AGAIN_NS = 50 * Clock.MS;   // idle clients in a drain: from when, how often
     private static final int MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
+    private static final long UNASKED_NS = 10_000 * Clock.MS;       // for clients of a process that has passed its work on
 
     private final Config config;
     private final Io io;
@@ -46,6 +55,12 @@
     private final Path settingsFile;
     private final Settings settings;
     private final Journal journal;
+    private final Connections upstream;
+    private final ServerSocketChannel inherited;   // null: it listens by itself
+    private final Accession.Won won;
+    private final Succession succession;
+    private Passing passing;           // null until another process has the work
+    private long endsBy;               // once it has: when this one ends at the latest
     private final Lifecycle life = new Lifecycle();
     private final ControlServer control;   // null where there is none
     private boolean looking;          // for connections of clients that stand idle in a drain
@@ -76,12 +91,14 @@
         Lean.start();
         OperatorFile.Read told = OperatorFile.read(settingsFile);
         Config config = Config.read(variables);
-        Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
+        ServerSocketChannel inherited = inherited(variables);
         Io io = new Io(clock);
         ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
+        Accession.Won won = Accession.seek(io, config);
+        Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
         io.run(() -> {
             try {
-                new Daemon(config, told, settingsFile, journal, io, control, born).begin(variables);
+                new Daemon(config, told, settingsFile, journal, io, control, inherited, won, born).begin(variables);
             } catch (SettingsFault e) {
                 e.faults().forEach(System.err::println);
                 Runtime.getRuntime().halt(1);
@@ -92,8 +109,20 @@
         });
     }
 
+    /** The listening socket that the platform holds and every process of the dispatcher is given, or null. */
+    private static ServerSocketChannel inherited(Map<String, String> variables) throws IOException {
+        String number = variables.getOrDefault("RELAY_LISTEN_FD", "");
+        if (number.isEmpty()) {
+            return null;
+        }
+        if (!number.equals("0") || !(System.inheritedChannel() instanceof ServerSocketChannel socket)) {
+            throw new IOException("RELAY_LISTEN_FD=" + number + ": only 0, a listening TCP socket, can be taken over");
+        }
+        return socket;
+    }
+
     private Daemon(Config config, OperatorFile.Read told, Path settingsFile, Journal journal, Io io, ControlServer control,
-                   long born) throws IOException {
+                   ServerSocketChannel inherited, Accession.Won won, long born) throws IOException {
         EventConfig events = told.events();
         this.settings = told.settings();
         this.settingsFile = settingsFile;
@@ -101,12 +130,15 @@
         this.io = io;
         this.journal = journal;
         this.control = control;
+        this.inherited = inherited;
+        this.won = won;
+        this.succession = new Succession(io, won.owner(), this);
         this.born = born;
         var module = config.settings().settings();
         Limits limits = config.limits();
         long idleNs = module.connections().idleNs() * 4 / 5;
         Hosts hosts = new Hosts(config.settings());
-        Connections upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
+        upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
         Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
         relay = new Relay(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
@@ -132,19 +164,27 @@
 
     private Server server(int eventClients) throws IOException {
         Limits limits = config.limits();
-        return new Server(io, config.listen(), PlatformFront.MOST_BODY, limits.downstream() - eventClients,
-                limits.reading(), null, front::handle);
+        return new Server(io, config.listen(), inherited, PlatformFront.MOST_BODY, limits.downstream() - eventClients,
+                limits.reading(), null, this::handle);
+    }
+
+    private void handle(Server.Request request, Server.Answerer to) {
+        if (passing == null) {
+            front.handle(request, to);
+        } else {
+            passing.handle(request, to);
+        }
     }
 
     /** Ends that are known and the first calls go out before anything that waits at the port is read. */
-    private void begin(Map<String, String> variables) {
-        discovery.known(config.known());
-        relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(),
-                config.settings().names("services").get(0), () -> {
-            life.started();
-            System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for "
-                    + io.longestAway() / Clock.MS + " ms at most");
-        }));
+    private void begin(Map<String, String> variables) throws IOException {
+        if (won.given() == null) {
+            discovery.known(config.known());
+            relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(), config.settings().names("services").get(0),
+                    this::ready));
+        } else {
+            takeOver(won.given());
+        }
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
             control.handler(new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin)::carryOut);
@@ -154,6 +194,90 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
+    private void ready() {
+        life.started();
+        System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for " + io.longestAway() / Clock.MS
+                + " ms at most");
+        if (control != null) {
+            succession.listen(config.state());
+        }
+    }
+
+    /** Begins with what an older process has passed on, whose calls are still out; the code that is needed has run already. */
+    private void takeOver(Frame.Give given) throws IOException {
+        Link link = won.link();
+        relay.takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
+        discovery.known(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
+        if (given.drains() && life.drain()) {
+            lameDuck();
+        }
+        link.send(new Frame.Owned());
+        link.reading(frame -> {
+            if (frame instanceof Frame.Ended e) {
+                io.run(() -> relay.passed(e.passed()));
+            }
+        }, () -> io.run(relay::unheard));
+        relay.recover(front::owed, this::ready);
+    }
+
+    // ---------------------------------------------------------------- passing on, as Succession asks
+
+    @Override
+    public Frame.Give give(Consumer<Relay.Passed> told) {
+        servers.forEach(Server::stopAccepting);
+        passing = new Passing(io, servers.get(0).address());
+        discovery.passOn();
+        front.passOn(true);
+        return new Frame.Give(discovery.list(), relay.passOn(told), life.drains());
+    }
+
+    @Override
+    public void resume(List<Relay.Passed> heard) {
+        try {
+            for (Server s : servers) {
+                s.accept();
+            }
+        } catch (IOException e) {   // the address is another's: this process is of no use any more
+            System.err.println("upgrade: " + e);
+            Runtime.getRuntime().halt(1);
+        }
+        Passing back = passing;
+        passing = null;
+        relay.keep(heard);
+        front.passOn(false);
+        discovery.resume();
+        back.back(front::handle);
+    }
+
+    @Override
+    public void leave() {
+        life.end();
+        if (gossip != null) {
+            gossip.leave();
+        }
+        servers.forEach(s -> s.closing(true));
+        upstream.closeIdle();
+        passing.open();
+        endsBy = io.clock.now() + UNASKED_NS;
+        io.at(io.clock.now() + COMING_NS, this::left);
+    }
+
+    @Override
+    public void abandon(String id, int attempt) {
+        relay.abandon(id, attempt);
+    }
+
+    /** Ends once the calls that are out have been told of and no client is connected. */
+    private void left() {
+        servers.forEach(Server::closeIdle);
+        boolean done = relay.out() == 0 && passing.quiet() && servers.stream().allMatch(s -> s.open() == 0);
+        if (done && succession.flushed() || io.clock.now() > endsBy) {
+            System.err.println("left");
+            Runtime.getRuntime().halt(0);
+        }
+        io.at(io.clock.now() + LOOK_NS, this::left);
+    }
+
     private static UpstreamHost discovery(Config config) {
         return new UpstreamHost("discovery", config.discovery());
     }
@@ -220,23 +344,12 @@
         servers.forEach(s -> s.closing(false));
     }
 
-    /** On SIGTERM: answers all that comes, settles what is out, and ends with 0. */
+    /** On SIGTERM: answers all that comes, settles what is out, and ends with 0. One that has passed its work on ends as it was about
+     *  to, in the same time; one that is about to pass it on waits for what comes of that. */
     private void drain() {
         long start = io.clock.now();
         CountDownLatch ended = new CountDownLatch(1);
-        io.run(() -> {
-            if (gossip != null) {
-                gossip.leave();
-            }
-            life.end();
-            servers.forEach(s -> s.closing(true));
-            relay.closing(start + END_NS);
-            System.err.println("draining");
-            io.at(start + COMING_NS, () -> {
-                servers.forEach(Server::stopAccepting);
-                settle(start + END_NS, ended);
-            });
-        });
+        io.run(() -> drain(start, ended));
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -245,6 +358,26 @@
         Runtime.getRuntime().halt(0);
     }
 
+    private void drain(long start, CountDownLatch ended) {
+        switch (succession.state()) {
+            case GONE -> endsBy = Math.min(endsBy, start + END_NS);
+            case GIVEN -> io.at(io.clock.now() + LOOK_NS, () -> drain(start, ended));
+            case OWNER -> {
+                if (gossip != null) {
+                    gossip.leave();
+                }
+                life.end();
+                servers.forEach(s -> s.closing(true));
+                relay.closing(start + END_NS);
+                System.err.println("draining");
+                io.at(start + COMING_NS, () -> {
+                    servers.forEach(Server::stopAccepting);
+                    settle(start + END_NS, ended);
+                });
+            }
+        }
+    }
+
     private void settle(long end, CountDownLatch ended) {
         boolean settled = relay.held() == 0 && front.owed() == 0;
         if (servers.get(0).unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS)
--- /dev/null
+++ b/src/main/java/elderseam/Succession.java
@@ -0,0 +1,138 @@
+package elderseam;
+
+import elderseam.core.Clock;
+import elderseam.core.Relay;
+import elderseam.http.Io;
+import elderseam.upgrade.Frame;
+import elderseam.upgrade.Giving;
+import elderseam.upgrade.Link;
+import elderseam.upgrade.Owner;
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Passes the work of an owner on to a newer process that asks for it, as {@link Giving} decides; on the I/O thread. */
+final class Succession {
+    /** What the daemon does at each step. */
+    interface Estate {
+        /** Stops deciding, accepting, watching and telling; the calls that are out go on, and are told. */
+        Frame.Give give(Consumer<Relay.Passed> told);
+
+        /** Takes all of that back. */
+        void resume(List<Relay.Passed> heard);
+
+        /** The other process has it: what clients still send goes there. */
+        void leave();
+
+        /** Gives up a call. */
+        void abandon(String id, int attempt);
+    }
+
+    private static final long AGAIN_NS = 20 * Clock.MS;
+
+    private final Io io;
+    private final Owner owner;
+    private final Estate estate;
+    private final Giving giving = new Giving();
+    private final List<Relay.Passed> heard = new ArrayList<>();   // since it was given; as many as calls were out
+    private Link link;
+    private ServerSocketChannel links;
+
+    Succession(Io io, Owner owner, Estate estate) {
+        this.io = io;
+        this.owner = owner;
+        this.estate = estate;
+    }
+
+    /** Newer processes may ask from now on. */
+    void listen(Path folder) {
+        if (!Link.possible(folder)) {
+            System.err.println("no upgrade under load: the path of " + folder + " is too long for a socket");
+            return;
+        }
+        try {
+            links = Link.listen(folder, l -> l.read(f -> io.run(() -> came(l, f)), () -> io.run(() -> lost(l))));
+        } catch (IOException e) {
+            System.err.println("no upgrade under load: " + e);
+        }
+    }
+
+    Giving.State state() {
+        return giving.state();
+    }
+
+    /** Whether the newer process has been told all there was to tell. */
+    boolean flushed() {
+        return link == null || link.flushed();
+    }
+
+    private void came(Link from, Frame frame) {
+        if (frame instanceof Frame.Take && giving.asked() == Giving.Step.GIVE) {
+            link = from;
+            give();
+        } else if (from == link && frame instanceof Frame.Owned && giving.owned() == Giving.Step.LEAVE) {
+            System.err.println("passed on");
+            heard.clear();
+            try {
+                links.close();
+            } catch (IOException e) {
+                System.err.println("upgrade: " + e);
+            }
+            estate.leave();
+        } else if (from == link && frame instanceof Frame.Abandon a) {
+            estate.abandon(a.id(), a.attempt());
+        }
+    }
+
+    private void give() {
+        System.err.println("passing on");
+        Frame.Give all = estate.give(passed -> {
+            if (giving.state() == Giving.State.GIVEN) {
+                heard.add(passed);
+            }
+            link.send(new Frame.Ended(passed));
+        });
+        try {
+            owner.release();
+        } catch (IOException e) {   // the other process will not get it, and gives up
+            System.err.println("upgrade: " + e);
+        }
+        link.send(all);
+    }
+
+    private void lost(Link which) {
+        if (which != link) {
+            return;
+        }
+        switch (giving.lost()) {
+            case RESUME -> {
+                System.err.println("the newer process failed; going on");
+                link = null;
+                regain();
+            }
+            case FAIL -> {
+                System.err.println("the newer process ended; this one has passed its work on, and ends too");
+                Runtime.getRuntime().halt(1);
+            }
+            default -> { }
+        }
+    }
+
+    /** Nothing is decided until the lock is held again: the other process may be about to die with it. */
+    private void regain() {
+        try {
+            if (owner.take()) {
+                List<Relay.Passed> all = List.copyOf(heard);
+                heard.clear();
+                estate.resume(all);
+                return;
+            }
+        } catch (IOException e) {
+            System.err.println("upgrade: " + e);
+        }
+        io.at(io.clock.now() + AGAIN_NS, this::regain);
+    }
+}
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -44,6 +44,18 @@
         }
     }
 
+    /** A stream's last attempt is still out, at another process. */
+    void adopt(long time, Stream s, String host, long start) {
+        at(time);
+        brain.adopted(now, s.id(), host, start);
+    }
+
+    /** What the module has learned, told or taken over. */
+    void carry(long time, Sender.Ledger ledger) {
+        at(time);
+        brain.carry(now, ledger);
+    }
+
     /** Whether a message for that destination can be taken on. */
     boolean serves(long time, long destination) {
         now = Math.max(now, time);
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -59,6 +59,7 @@
     private long detachedBytes;
     private long size;
     private long live;
+    private boolean letGo;           // another process has it
     private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
 
     public Journal(Path folder, long capBytes, Clock clock) throws IOException {
@@ -266,12 +267,14 @@
         return entries.values().stream().filter(e -> e.joined && e.answer == null).map(e -> e.message).toList();
     }
 
-    /** The messages without an end, as an earlier process left them. */
-    List<Stream> unfinished() {
+    /** The messages without an end, as an earlier process left them; {@code out}: those that it still has a call out for. */
+    List<Stream> unfinished(Set<String> out) {
         List<Stream> back = new ArrayList<>();
         entries.values().forEach(e -> {
             if (e.answer == null && !e.joined) {
-                result(e, e.outMs != 0);   // an attempt that was out may have run
+                if (!out.contains(e.message.id())) {
+                    result(e, e.outMs != 0);   // an attempt that was out may have run
+                }
                 Stream s = new Stream(e.message);
                 s.attempts = e.attempts;
                 s.mayHaveRun = e.firstRanMs != 0;
@@ -303,6 +306,9 @@
     // ---------------------------------------------------------------- the file
 
     private boolean append(byte[] record) {
+        if (letGo) {
+            return false;
+        }
         try {
             if (size + record.length + Math.max(0, live) + record.length > cap) {
                 compact();
@@ -453,6 +459,16 @@
         }
     }
 
+    /** Another process is to write from now on: nothing more is written here until {@link #resume()}. */
+    public void letGo() {
+        letGo = true;
+    }
+
+    /** Nobody else has written meanwhile. */
+    public void resume() {
+        letGo = false;
+    }
+
     @Override
     public void close() throws IOException {
         store.close();
--- /dev/null
+++ b/src/main/java/elderseam/core/LedgerBytes.java
@@ -0,0 +1,113 @@
+package elderseam.core;
+
+import elderseam.module.Sender.Ledger;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** What the module has learned, as bytes for another process of the same machine; bytes that stop short are an exception. */
+final class LedgerBytes {
+    /** A time so far from now is none: a mark for never, or not yet. */
+    private static final long FAR_NS = 30L * 24 * 3_600 * 1_000_000_000L;
+    /** Both clocks are the machine's on Linux; less than this is the rounding of the wall clock. */
+    private static final long SAME_NS = 20 * Clock.MS;
+
+    private LedgerBytes() {}
+
+    static final class Writer implements Ledger {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(16 << 10);
+        private final DataOutputStream out = new DataOutputStream(bytes);
+        private final long now;
+
+        Writer(Clock clock) {
+            now = clock.now();
+            whole(now);
+            whole(clock.wallMs());
+        }
+
+        byte[] bytes() {
+            return bytes.toByteArray();
+        }
+
+        @Override
+        public long whole(long value) {
+            try {
+                out.writeLong(value);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);   // memory doesn't fail so
+            }
+            return value;
+        }
+
+        @Override
+        public double real(double value) {
+            whole(Double.doubleToLongBits(value));
+            return value;
+        }
+
+        @Override
+        public long time(long value) {
+            flag(isTime(value, now));
+            return whole(value);
+        }
+
+        @Override
+        public String text(String value) {
+            try {
+                out.writeUTF(value);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return value;
+        }
+    }
+
+    private static boolean isTime(long value, long now) {
+        return value != 0 && value > now - FAR_NS && value < now + FAR_NS;
+    }
+
+    static final class Reader implements Ledger {
+        private final DataInputStream in;
+        private final long shift;
+
+        Reader(byte[] bytes, Clock clock) {
+            in = new DataInputStream(new ByteArrayInputStream(bytes));
+            long theirs = whole(0), wallMs = whole(0);
+            long by = clock.now() - theirs - (clock.wallMs() - wallMs) * Clock.MS;
+            shift = Math.abs(by) < SAME_NS ? 0 : by;
+        }
+
+        @Override
+        public long whole(long none) {
+            try {
+                return in.readLong();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Override
+        public double real(double none) {
+            return Double.longBitsToDouble(whole(0));
+        }
+
+        @Override
+        public long time(long none) {
+            boolean moves = flag(false);
+            long value = whole(0);
+            return moves ? value + shift : value;
+        }
+
+        @Override
+        public String text(String none) {
+            try {
+                return in.readUTF();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+}
--- a/src/main/java/elderseam/core/Lifecycle.java
+++ b/src/main/java/elderseam/core/Lifecycle.java
@@ -24,6 +24,11 @@
         return state() == State.READY;
     }
 
+    /** Whether a drain by hand lasts. */
+    public boolean drains() {
+        return drains;
+    }
+
     /** Whether each answer is the last on its connection. */
     public boolean closing() {
         return ending || drains;
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -3,8 +3,10 @@
 import elderseam.module.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -32,8 +34,10 @@
     private final Copies copies;
     private final Detached detached;
     private final Figures figures;
+    private final Set<String> adopted = new HashSet<>();   // out at the process before this one
     private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
     private Runnable watch = () -> { };
+    private Consumer<Passed> successor;   // once another process has taken over: it decides, this one tells it
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
     private int out;
@@ -67,8 +71,10 @@
 
     /** The list of hosts, or that it could not be had. */
     public void hosts(Sender.ListKind kind, List<Sender.Endpoint> hosts) {
-        facade.report(clock.now(), kind, detached.over(kind, hosts));
-        turn();
+        if (successor == null) {
+            facade.report(clock.now(), kind, detached.over(kind, hosts));
+            turn();
+        }
     }
 
     /** What came of an operator's word on a host. */
@@ -109,16 +115,13 @@
      * the process may call itself ready; {@code untold}: answers that the fronts have yet to tell.
      */
     public void recover(IntSupplier untold, Runnable ready) {
-        List<Stream> back = journal.unfinished();
+        List<Stream> back = new ArrayList<>(journal.unfinished(adopted));
+        back.removeIf(s -> adopted.contains(s.id()));
         for (Stream s : back) {
             if (s.mayHaveRun) {
                 s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
             }
-            s.owned = true;
-            streams.put(s.id(), s);
-            if (!s.message.same().isEmpty()) {
-                copies.leads(s);
-            }
+            takenBack(s);
         }
         copies.recover();
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
@@ -128,6 +131,14 @@
         recover(recovery, untold, told, ready);
     }
 
+    private void takenBack(Stream s) {
+        s.owned = true;
+        streams.put(s.id(), s);
+        if (!s.message.same().isEmpty()) {
+            copies.leads(s);
+        }
+    }
+
     private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
         fronts.values().forEach(Front::tell);
         Runnable again = () -> recover(recovery, untold, told, ready);
@@ -162,6 +173,116 @@
         }
     }
 
+    /** A call that is out at another process, which has passed its work on. */
+    public record Out(String id, int attempt, String host, long agoNs) {}
+
+    /** What this process still hears of a call, after it has passed its work on; {@code late}: after it had given the call up. */
+    public record Passed(String id, int attempt, String host, boolean late, UpstreamRequest.End end) {}
+
+    /** All that the next process needs besides the journal. */
+    public record Estate(byte[] learned, List<Out> out) {}
+
+    /**
+     * Passes all work on to another process: nothing is decided, begun or written here any more, and what is still heard of the
+     * calls that are out is told to it. {@link #keep()} takes that back.
+     */
+    public Estate passOn(Consumer<Passed> to) {
+        LedgerBytes.Writer learned = new LedgerBytes.Writer(clock);
+        facade.carry(clock.now(), learned);
+        List<Out> calls = new ArrayList<>();
+        streams.values().stream().filter(s -> s.out != null).forEach(s -> calls.add(
+                new Out(s.id(), s.attempts - 1, s.leg.host, clock.now() - s.leg.start)));
+        successor = to;
+        journal.letGo();
+        return new Estate(learned.bytes(), calls);
+    }
+
+    /** The other process has failed before it took over; {@code heard}: what it had been told of calls counts here. */
+    public void keep(List<Passed> heard) {
+        successor = null;
+        journal.resume();
+        heard.forEach(p -> {
+            Stream s = streams.get(p.id());
+            if (p.late()) {
+                facade.reportLate(clock.now(), p.host(), p.end());
+            } else if (s != null && s.leg != null && s.leg.number == p.attempt()) {
+                s.leg.ended(p.end());
+            }
+        });
+        tickAt = Long.MAX_VALUE;
+        turn();
+    }
+
+    /** Gives a call up that another process decides on. */
+    public void abandon(String id, int attempt) {
+        Stream s = streams.get(id);
+        if (s != null && s.out != null && s.attempts - 1 == attempt) {
+            s.out.abandon();
+        }
+    }
+
+    /**
+     * Takes over from another process, before {@link #recover}: what its module has learned, and its calls that are still out;
+     * {@code abandon} asks it to give one up.
+     */
+    public void takeOver(Estate estate, Consumer<Out> abandon) {
+        facade.carry(clock.now(), new LedgerBytes.Reader(estate.learned(), clock));
+        Map<String, Out> calls = new HashMap<>();
+        estate.out().forEach(o -> calls.put(o.id(), o));
+        for (Stream s : journal.unfinished(calls.keySet())) {
+            Out o = calls.get(s.id());
+            if (o == null || s.attempts - 1 != o.attempt()) {
+                continue;
+            }
+            if (s.mayHaveRun) {
+                s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
+            }
+            adopted.add(s.id());
+            takenBack(s);
+            facade.take(clock.now(), s);
+            long start = clock.now() - o.agoNs();
+            facade.adopt(clock.now(), s, o.host(), start);
+            out(s.message.destination(), 1);
+            s.leg = new Leg(s, o.attempt(), o.host(), start);
+            s.out = () -> abandon.accept(o);
+            Leg leg = s.leg;   // told in time even where the other process falls silent
+            loop.at(Math.max(clock.now(), s.message.deadline() - TELLING_NS / 2), () -> unheard(s, leg));
+        }
+    }
+
+    /** The other process tells of a call that it had out. */
+    public void passed(Passed p) {
+        Stream s = streams.get(p.id());
+        if (p.late()) {
+            Leg leg = s == null ? null : s.leg;
+            if (leg != null && leg.number == p.attempt()) {
+                leg.answeredLate(p.end());
+            } else {
+                facade.reportLate(clock.now(), p.host(), p.end());
+                answered();
+            }
+        } else if (s != null && s.out != null && s.leg.number == p.attempt() && adopted.remove(p.id())) {
+            s.leg.ended(p.end());
+        }
+    }
+
+    /** The other process has gone: the calls that it has not told of may have run. */
+    public void unheard() {
+        List.copyOf(adopted).forEach(id -> {
+            Stream s = streams.get(id);
+            if (s != null) {
+                unheard(s, s.leg);
+            }
+        });
+        adopted.clear();
+    }
+
+    private void unheard(Stream s, Leg leg) {
+        if (s.out != null && s.leg == leg && adopted.remove(s.id())) {
+            leg.ended(UpstreamRequest.End.unanswered(UpstreamRequest.Progress.WRITTEN, UpstreamRequest.Status.BROKEN));
+        }
+    }
+
     /** Nobody looked at the network for so long; what had arrived meanwhile has been read. */
     public void away(long ns) {
         facade.away(clock.now(), ns);
@@ -178,6 +299,9 @@
 
     /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
     public Answer take(Stream.Message message, List<String> also) {
+        if (successor != null) {   // it was not passed on; nothing was taken
+            return Answer.refused(ROOM_AGAIN_NS);
+        }
         Answer known = journal.answer(message.id());
         if (known != null || holds(message.id())) {
             return known;
@@ -310,7 +434,7 @@
 
     /** What the module decides now is carried out; after a pause only once all that had arrived is read. */
     private void turn() {
-        if (turning) {
+        if (turning || successor != null) {
             return;
         }
         if (loop.late()) {
@@ -376,6 +500,7 @@
         long start = clock.now(), left = s.message.deadline() - start;
         out(s.message.destination(), 1);
         Leg leg = new Leg(s, s.attempts++, host, start);
+        s.leg = leg;
         long by = Math.min(answerBy, s.message.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)));
         if (journal.sent(s.id())) {
             s.out = upstreams.get(s.message.front()).send(s.message, host,
@@ -387,7 +512,7 @@
     }
 
     /** One attempt, as its upstream knows it. */
-    private final class Leg implements Attempt {
+    final class Leg implements Attempt {
         private final Stream stream;
         private final int number;
         private final String host;
@@ -402,7 +527,7 @@
 
         @Override
         public boolean mayLeave() {
-            return facade.mayCall(clock.now(), host);
+            return successor == null && facade.mayCall(clock.now(), host);
         }
 
         @Override
@@ -412,8 +537,12 @@
 
         @Override
         public void ended(UpstreamRequest.End end) {
-            out(stream.message.destination(), -1);
             stream.out = null;
+            out(stream.message.destination(), -1);
+            if (successor != null) {
+                successor.accept(new Passed(stream.id(), number, host, false, end));
+                return;
+            }
             journal.result(stream.id(), end.mayHaveRun());
             stream.mayHaveRun |= end.mayHaveRun();
             facade.report(clock.now(), stream.id(), number, host, start, end);
@@ -428,6 +557,10 @@
         /** The delivery of one that is out again, or has its end, does not count a second time. */
         @Override
         public void answeredLate(UpstreamRequest.End end) {
+            if (successor != null) {
+                successor.accept(new Passed(stream.id(), number, host, true, end));
+                return;
+            }
             facade.reportLate(clock.now(), host, end);
             boolean over = end.status() == UpstreamRequest.Status.DELIVERED || end.status() == UpstreamRequest.Status.OVER;
             if (over && stream.out == null && streams.get(stream.id()) == stream) {
--- a/src/main/java/elderseam/emulator/MemoryStore.java
+++ b/src/main/java/elderseam/emulator/MemoryStore.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 
 /** The journal's bytes in memory: they outlast the emulated process. */
-final class MemoryStore implements JournalStore {
+public final class MemoryStore implements JournalStore {
     /** What a policy that is spared the loss of its messages keeps. */
     final Map<String, PlainInstance.Held> kept = new LinkedHashMap<>();
     private byte[] bytes = new byte[1 << 12];
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -118,6 +118,11 @@
         }
     }
 
+    /** Closes all that stands idle. */
+    public void closeIdle() {
+        List.copyOf(idle.keySet()).forEach(this::closeIdle);
+    }
+
     /** Sends a request; {@code done} is told once, never from within this call. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
         return send(host, call, connectBy, answerBy, () -> true, () -> { }, null, done);
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -1,19 +1,23 @@
 package elderseam.http;
 
 import io.undertow.UndertowOptions;
+import io.undertow.io.Receiver;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import javax.net.ssl.SSLContext;
 import org.xnio.ChannelListener;
@@ -23,6 +27,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.InheritedListener;
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
 public final class Server {
@@ -52,7 +57,13 @@
     private static final int ACCEPTING = 8;   // more that are accepted, and about to take the place of others
 
     private final HttpOpenListener listener;
-    private final AcceptingChannel<? extends StreamConnection> accepting;
+    private final Io io;
+    private final ServerSocketChannel inherited;   // null: it binds its own
+    private final ChannelListener<StreamConnection> opened;
+    private final OptionMap options;
+    private InetSocketAddress address;
+    private AcceptingChannel<? extends StreamConnection> accepting;   // null while it does not, or with an inherited one
+    private InheritedListener given;
     private final UndertowXnioSsl ssl;
     private final int mostBody;
     private final Handler handler;
@@ -62,6 +73,15 @@
     /** Serves TLS where a context is given, else plain HTTP. */
     public Server(Io io, InetSocketAddress address, int mostBody, int mostConnections, int mostReading, SSLContext context,
                   Handler handler) throws IOException {
+        this(io, address, null, mostBody, mostConnections, mostReading, context, handler);
+    }
+
+    /** {@code inherited}: the socket that already listens there, or null. */
+    public Server(Io io, InetSocketAddress address, ServerSocketChannel inherited, int mostBody, int mostConnections, int mostReading,
+                  SSLContext context, Handler handler) throws IOException {
+        this.io = io;
+        this.address = address;
+        this.inherited = inherited;
         this.mostBody = mostBody;
         this.handler = handler;
         this.downstreams = new Downstreams(io, mostConnections, mostReading);
@@ -74,19 +94,30 @@
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
                 .set(UndertowOptions.RECORD_REQUEST_START_TIME, false).getMap());
         listener.setRootHandler(new HttpContinueReadHandler(root()));   // clients may ask before a long body
-        OptionMap options = OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
+        this.options = OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
                 .set(Options.BACKLOG, 256).set(Options.CONNECTION_HIGH_WATER, mostConnections + ACCEPTING)
                 .set(Options.CONNECTION_LOW_WATER, mostConnections + ACCEPTING).getMap();
-        ChannelListener<StreamConnection> opened = downstreams.guarding(listener);
+        this.opened = downstreams.guarding(listener);
         this.ssl = context == null ? null : new UndertowXnioSsl(io.worker.getXnio(), OptionMap.EMPTY, io.buffers, context);
-        this.accepting = ssl == null
-                ? io.worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(opened), options)
-                : ssl.createSslConnectionServer(io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
-        accepting.resumeAccepts();
+        accept();
+    }
+
+    /** Takes connections, from the start on and again after {@link #stopAccepting()}. */
+    public void accept() throws IOException {
+        if (inherited != null) {
+            given = given == null ? InheritedListener.on(io.thread, inherited, opened) : given;
+            given.resume();
+        } else if (accepting == null) {
+            accepting = ssl == null
+                    ? io.worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(opened), options)
+                    : ssl.createSslConnectionServer(io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
+            address = accepting.getLocalAddress(InetSocketAddress.class);
+            accepting.resumeAccepts();
+        }
     }
 
     public InetSocketAddress address() {
-        return accepting.getLocalAddress(InetSocketAddress.class);
+        return address;
     }
 
     /** New connections get this certificate from now on. */
@@ -117,9 +148,9 @@
                 exchange.getRequestReceiver().setMaxBufferSize(mostBody);
                 exchange.getRequestReceiver().receiveFullBytes((x, body) -> {
                     d.asked();
-                    x.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> handle(x, body));
-                }, (x, e) -> refuse(x, e instanceof io.undertow.io.Receiver.RequestToLargeException
-                        || e instanceof io.undertow.server.RequestTooBigException ? 413 : 400));
+                    x.dispatch(SameThreadExecutor.INSTANCE, () -> handle(x, body));
+                }, (x, e) -> refuse(x, e instanceof Receiver.RequestToLargeException
+                        || e instanceof RequestTooBigException ? 413 : 400));
             }
         };
     }
@@ -208,7 +239,11 @@
 
     /** Takes no new connections. */
     public void stopAccepting() {
+        if (given != null) {
+            given.suspend();
+        }
         IoUtils.safeClose(accepting);
+        accepting = null;
     }
 
     public void closeConnections() {
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
 
 /** What a sender keeps count of: plain state, no decisions. Brain owns and changes all of it. */
 final class Books {
@@ -56,6 +59,18 @@
         Target last;
         double index;
 
+        double worthAt(long at, Sender.Settings settings) {
+            if (at >= msg.deadline()) {
+                return 0;
+            }
+            double late = Math.max(0, (double) (at - born - cls.aimNs()) / cls.aimNs());
+            if (settings.worthHalves()) {
+                return worth * Math.max(cls.lateWorth(), Math.pow(0.5, late));
+            }
+            double span = (double) (cls.deadlineNs() - cls.aimNs()) / cls.aimNs();
+            return worth * (1 - (1 - cls.lateWorth()) * Math.min(1, late / Math.max(1e-9, span)));
+        }
+
         Held(Sender.Message msg, Sender.MessageClass cls, Destination dest, Lane lane, double worth, long seq) {
             this.msg = msg;
             this.cls = cls;
@@ -67,6 +82,77 @@
         }
     }
 
+    /** A call that another process of this sender has out: it holds ticket, slot and trial as one of its own would. */
+    static void adopt(Held m, Call call) {
+        call.messages.add(m);
+        call.pending = 1;
+        call.target.out++;
+        call.circuit.out.add(call);
+        if (call.circuit.state == Brain.State.HALF_OPEN && call.circuit.trial == null) {
+            call.circuit.trial = call;
+        }
+        m.out.put(m.attempts - 1, call);
+        m.last = call.target;
+        m.dest.waiting.remove(m);
+    }
+
+    /** The endpoints with all that is known of them; {@code add} makes one that is read. */
+    static void carry(Sender.Ledger l, Map<String, Target> targets, Function<Sender.Endpoint, Target> add) {
+        List<Target> all = new ArrayList<>(targets.values());
+        long count = l.whole(all.size());
+        Set<Brain.Circuit> carried = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            Target own = i < all.size() ? all.get(i) : null;
+            String address = l.text(own == null ? "" : own.address);
+            long dest = l.whole(own == null ? 0 : own.dest.id), kind = l.whole(own == null ? 0 : own.dest.kindNo);
+            long zone = l.whole(own == null ? 0 : own.zone);
+            Target t = own != null ? own : add.apply(new Sender.Endpoint(address, dest, (int) kind, (int) zone, Sender.Listing.READY, 0));
+            t.carry(l);
+            if (carried.add(t.circuit)) {
+                carry(t.circuit, l);
+            }
+        }
+    }
+
+    private static void carry(Brain.Circuit c, Sender.Ledger l) {
+        c.state = Brain.State.values()[(int) l.whole(c.state.ordinal())];
+        c.byHang = l.flag(c.byHang);
+        c.openUntil = l.time(c.openUntil);
+        c.waitUntil = l.time(c.waitUntil);
+        c.lastGood = l.time(c.lastGood);
+        c.goodStart = l.time(c.goodStart);
+        c.runFrom = l.time(c.runFrom);
+        c.downFrom = l.time(c.downFrom);
+        c.run = (int) l.whole(c.run);
+        c.usual = l.real(c.usual);
+        c.recent = l.real(c.recent);
+        c.weight = l.real(c.weight);
+        c.norm = l.real(c.norm);
+        c.cutWeight = l.real(c.cutWeight);
+        c.pace = l.real(c.pace);
+        c.level = l.real(c.level);
+        c.sick = l.real(c.sick);
+        c.refilled = l.time(c.refilled);
+        c.pauseUntil = l.time(c.pauseUntil);
+        c.pause = l.whole(c.pause);
+        c.lastCut = l.time(c.lastCut);
+        c.lastFull = l.time(c.lastFull);
+        c.lastBad = l.time(c.lastBad);
+        c.rampFrom = l.time(c.rampFrom);
+        c.ramping = l.flag(c.ramping);
+        c.told = l.flag(c.told);
+        c.room = l.flag(c.room);
+        c.window.carry(l);
+    }
+
+    /** By kind: how long idle connections are kept, and until when that holds. */
+    static void carry(Sender.Ledger l, long[] keepNs, long[] keepUntil) {
+        for (int k = 0; k < keepNs.length; k++) {
+            keepNs[k] = l.whole(keepNs[k]);
+            keepUntil[k] = l.time(keepUntil[k]);
+        }
+    }
+
     /** The messages of one order key, in the order taken. */
     static final class Lane {
         final ArrayDeque<Held> queue = new ArrayDeque<>();
@@ -116,6 +202,20 @@
             served = true;
         }
 
+        private void carry(Sender.Ledger l) {
+            ready = l.flag(ready);
+            gone = l.flag(gone);
+            served = true;
+            bias = l.real(bias);
+            usedAt = l.time(usedAt);
+            coldFrom = l.time(coldFrom);
+            nextCold = l.time(nextCold);
+            for (int k = 0; k < failures.length; k++) {
+                failures[k] = (int) l.whole(failures[k]);
+                restUntil[k] = l.time(restUntil[k]);
+            }
+        }
+
         boolean cold(long now) {
             return coldFrom != 0 && now - coldFrom < coldNs;
         }
@@ -152,6 +252,12 @@
             this.refilled = now;
         }
 
+        void carry(Sender.Ledger l) {
+            for (int i = 0; i < level.length; i++) {
+                level[i] = l.real(level[i]);
+            }
+        }
+
         /** The worth of a message of that tenant now: full within its share. */
         double share(long now, int tenant) {
             double dt = (now - refilled) / 1e9;
@@ -227,6 +333,25 @@
             this.failed = new int[buckets];
         }
 
+        /** By age, since the buckets of another clock begin elsewhere. */
+        void carry(Sender.Ledger l) {
+            boolean begun = l.flag(at != Long.MIN_VALUE);
+            if (!begun) {
+                return;
+            }
+            long newest = Math.floorDiv(l.time(at == Long.MIN_VALUE ? 0 : at * bucketNs + bucketNs / 2), bucketNs);
+            allCalls = 0;
+            allFailed = 0;
+            for (int age = 0; age < calls.length; age++) {
+                int i = (int) Math.floorMod(newest - age, (long) calls.length);
+                calls[i] = (int) l.whole(calls[i]);
+                failed[i] = (int) l.whole(failed[i]);
+                allCalls += calls[i];
+                allFailed += failed[i];
+            }
+            at = newest;
+        }
+
         /** Moves to the bucket of {@code now}; the number of buckets moved by, at most all and one. */
         int roll(long now) {
             long to = Math.floorDiv(now, bucketNs);
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -562,6 +562,24 @@
         m.keyUntil = keyUntil;
     }
 
+    @Override
+    public void adopted(long now, String id, String endpoint, long start) {
+        advance(now);
+        Target t = targets.get(endpoint);
+        Books.adopt(held.get(id), new Call(t.circuit, t, start, turn, t.circuit.answered));
+        callsOut++;
+    }
+
+    @Override
+    public void carry(long now, Sender.Ledger l) {
+        advance(now);
+        Books.carry(l, targets, e -> add(e, now));
+        Books.carry(l, keepNs, keepUntil);
+        losses.carry(l);
+        tenants.carry(l);
+        fleetUsual = l.real(fleetUsual);
+    }
+
     @Override
     public void closing(long now, long end) {
         advance(now);
@@ -895,25 +913,13 @@
         }
     }
 
-    private double worthAt(Held m, long at) {
-        Sender.MessageClass c = m.cls;
-        if (at >= m.msg.deadline()) {
-            return 0;
-        }
-        double late = Math.max(0, (double) (at - m.born - c.aimNs()) / c.aimNs());
-        if (settings.worthHalves()) {
-            return m.worth * Math.max(c.lateWorth(), Math.pow(0.5, late));
-        }
-        double span = (double) (c.deadlineNs() - c.aimNs()) / c.aimNs();
-        return m.worth * (1 - (1 - c.lateWorth()) * Math.min(1, late / Math.max(1e-9, span)));
-    }
-
     /** What is lost by waiting, for each second of a slot. */
     private double index(Held m, long now) {
         double ns = m.dest.circuits.isEmpty() ? fleetUsual
                 : Math.max(m.dest.circuits.get(0).usualNs(), m.dest.circuits.get(0).recent);
         long done = now + (long) ns;
-        return (worthAt(m, done) - LATER * worthAt(m, done + m.cls.aimNs())) / Math.max(ns, TICK_NS);
+        double later = m.worthAt(done + m.cls.aimNs(), settings);
+        return (m.worthAt(done, settings) - LATER * later) / Math.max(ns, TICK_NS);
     }
 
     private boolean laneFree(Held m, long now) {
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -140,6 +140,25 @@
     record Outcome(String id, int attempt, String endpoint, Result result, long latencyNs, long waitNs,
                    boolean noSlot, boolean over, Report report) {}
 
+    /**
+     * Carries what a sender has learned to the one that takes its place. Each value passes through, in one order: one that writes
+     * gives back what it is given, one that reads gives back what was written, times moved to its own clock.
+     */
+    interface Ledger {
+        long whole(long value);
+
+        double real(double value);
+
+        /** Of the clock; what is far from any time of it (none, never) passes as it is. */
+        long time(long value);
+
+        String text(String value);
+
+        default boolean flag(boolean value) {
+            return whole(value ? 1 : 0) == 1;
+        }
+    }
+
     /** What happens to a sender. Events at one time make a turn, closed by {@link #turnEnd}: only there are
      *  messages sent. A time before the last one, or a second message with a held id, is answered with
      *  IllegalArgumentException; an id no longer held, and a late timer, are passed over. */
@@ -154,6 +173,13 @@
          *  of them may have run, and until when a keyed one may then be sent again. */
         void restored(long now, Message message, int attempts, boolean maybeRan, long keyUntil);
 
+        /** The attempt that a restored message has had last is still out, at another process of this sender; its outcome will come. */
+        void adopted(long now, String id, String endpoint, long start);
+
+        /** Tells, or takes over, what was learned of the endpoints, their breakers and paces, and of the tenants; on a fresh sender
+         *  before anything else. */
+        void carry(long now, Ledger ledger);
+
         /** Whether there is, or was of late, an endpoint for that destination; a message for another is best not taken. */
         boolean serves(long now, long destination);
 
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -26,6 +26,7 @@
     private final Hosts hosts;
     private final Relay relay;
     private long version;
+    private boolean stopped;           // another process watches
     private Connections.Request out;   // the one call under way, or none
 
     public Discovery(Io io, Connections connections, UpstreamHost address, Hosts hosts, Relay relay) {
@@ -44,11 +45,33 @@
 
     /** Asks for news, unless a call is out. */
     public void watch() {
-        if (out == null) {
+        if (out == null && !stopped) {
             ask("?after=" + version + "&wait_ms=" + WAIT_MS, io.clock.now() + WAIT_MS * Clock.MS + ANSWER_NS);
         }
     }
 
+    /** Another process watches from now on. */
+    public void passOn() {
+        stopped = true;
+        Connections.Request old = out;
+        out = null;
+        if (old != null) {
+            old.abandon();
+        }
+        connections.closeIdle(address);
+    }
+
+    /** It does not, after all. */
+    public void resume() {
+        stopped = false;
+        watch();
+    }
+
+    /** The list as it stands, in discovery's form. */
+    public String list() {
+        return hosts.encoded(version);
+    }
+
     /** Discovery is elsewhere from now on: what is out at the old address counts for nothing, and the new one, whose
      *  versions may be others, is asked for all it has. */
     public void move(UpstreamHost to) {
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -12,6 +12,7 @@
 /** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
 public final class Hosts {
     private final Map<String, UpstreamHost> hosts = new HashMap<>();   // those listed
+    private final Map<String, Sender.Endpoint> entries = new HashMap<>();   // the same, as they were decoded
     private final List<String> kinds, zones;
 
     public Hosts(SettingsMap settings) {
@@ -28,6 +29,7 @@
     public List<Sender.Endpoint> decode(Json servers, boolean whole) {
         if (whole) {
             hosts.clear();
+            this.entries.clear();
         }
         List<Sender.Endpoint> entries = new ArrayList<>();
         for (Json s : servers.items()) {
@@ -43,9 +45,30 @@
             if (listing == Sender.Listing.GONE) {
                 hosts.remove(id);
             }
-            entries.add(new Sender.Endpoint(id, s.at("cell").whole(0), Math.max(0, kinds.indexOf(s.at("kind").text(""))),
-                    Math.max(0, zones.indexOf(s.at("zone").text(""))), listing, s.at("weight").real(1)));
+            Sender.Endpoint e = new Sender.Endpoint(id, s.at("cell").whole(0), Math.max(0, kinds.indexOf(s.at("kind").text(""))),
+                    Math.max(0, zones.indexOf(s.at("zone").text(""))), listing, s.at("weight").real(1));
+            entries.add(e);
+            if (listing == Sender.Listing.GONE) {
+                this.entries.remove(id);
+            } else {
+                this.entries.put(id, e);
+            }
         }
         return entries;
     }
+
+    /** The list as it stands, in discovery's form. */
+    String encoded(long version) {
+        StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
+        String between = "";
+        for (Sender.Endpoint e : entries.values()) {
+            text.append(between).append("{\"id\":").append(Json.quoted(e.address())).append(",\"addr\":").append(Json.quoted(host(e.address()).address()))
+                    .append(",\"zone\":").append(Json.quoted(zones.get(e.zone()))).append(",\"kind\":").append(Json.quoted(kinds.get(e.kind())))
+                    .append(",\"cell\":").append(e.destination()).append(",\"state\":\"")
+                    .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING").append("\",\"weight\":").append(e.weight())
+                    .append(",\"started_ms\":0}");
+            between = ",";
+        }
+        return text.append("]}").toString();
+    }
 }
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/platform/Notices.java
@@ -38,6 +38,7 @@
     private final Relay relay;
     private final Map<String, Line> owed = new HashMap<>();
     private final TreeSet<Line> byDue = new TreeSet<>();   // the same, what is due soonest first
+    private boolean passedOn;          // another process tells them
     private boolean out;               // a post is under way, or about to be
     private Connections.Request request;
 
@@ -59,7 +60,7 @@
 
     /** What ended in one turn travels together. */
     void tell() {
-        if (!out && !owed.isEmpty()) {
+        if (!passedOn && !out && !owed.isEmpty()) {
             out = true;
             post();
         }
@@ -88,7 +89,17 @@
                 : "{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n";
     }
 
+    /** Whether another process tells them from now on. */
+    void passOn(boolean passedOn) {
+        this.passedOn = passedOn;
+        tell();
+    }
+
     private void post() {
+        if (passedOn) {
+            out = false;
+            return;
+        }
         Connections.Request old = request;
         request = null;
         if (old != null) {
--- /dev/null
+++ b/src/main/java/elderseam/platform/Passing.java
@@ -0,0 +1,105 @@
+package elderseam.platform;
+
+import elderseam.core.Clock;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.http.Call;
+import elderseam.http.Connections;
+import elderseam.http.Io;
+import elderseam.http.Reply;
+import elderseam.http.Server;
+import elderseam.http.UpstreamHost;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What clients still send to a process that has passed its work on: each request waits until the next process listens, and goes
+ * there; its answer comes back. Bounded as the connections of clients are, which carry one request each.
+ */
+public final class Passing {
+    private static final long ANSWER_NS = 2_000 * Clock.MS;         // a client waits 0.4 s
+    private static final int MOST = 64;
+    private static final Set<String> OWN = Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
+
+    private record Waiting(Server.Request request, Server.Answerer to, long since) {}
+
+    private final Io io;
+    private final Connections connections;
+    private final UpstreamHost next;
+    private final List<Waiting> waiting = new ArrayList<>();
+    private boolean open;
+    private int out;
+
+    public Passing(Io io, InetSocketAddress listener) {
+        this.io = io;
+        this.connections = new Connections(io, ANSWER_NS, MOST, 1 << 10);
+        this.next = new UpstreamHost("next", listener.getAddress().getHostAddress() + ":" + listener.getPort());
+    }
+
+    public void handle(Server.Request request, Server.Answerer to) {
+        Waiting w = new Waiting(request, to, io.clock.now());
+        if (open) {
+            pass(w);
+        } else {
+            waiting.add(w);
+        }
+    }
+
+    /** The next process listens. */
+    public void open() {
+        open = true;
+        waiting.forEach(this::pass);
+        waiting.clear();
+    }
+
+    /** It never will: they are this process's own again. */
+    public void back(Server.Handler handler) {
+        List<Waiting> all = List.copyOf(waiting);
+        waiting.clear();
+        all.forEach(w -> handler.handle(aged(w), w.to));
+    }
+
+    /** Whether nothing is under way. */
+    public boolean quiet() {
+        return out == 0 && waiting.isEmpty();
+    }
+
+    private void pass(Waiting w) {
+        Server.Request r = aged(w);
+        Map<String, String> headers = new HashMap<>();
+        r.headers().forEach(h -> {
+            if (!OWN.contains(h.getHeaderName().toString().toLowerCase(Locale.ROOT))) {
+                headers.put(h.getHeaderName().toString(), h.getFirst());
+            }
+        });
+        out++;
+        long by = io.clock.now() + ANSWER_NS;
+        connections.send(next, new Call(r.method(), r.path(), headers, r.body()), by, by, reply -> {
+            out--;
+            answer(reply, w.to);
+        });
+    }
+
+    /** What may have been taken on there is not refused here: its client, told nothing, asks again under a new id. */
+    private static void answer(Reply reply, Server.Answerer to) {
+        if (reply.answered()) {
+            String again = reply.header("Retry-After");
+            to.answer(reply.code(), again.isEmpty() ? Map.of() : Map.of("Retry-After", again), new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
+        } else if (reply.progress() == Progress.NOT_CONNECTED || reply.progress() == Progress.PARTLY_WRITTEN) {
+            to.answer(503, Map.of("Retry-After", "0.100"), "");
+        }
+    }
+
+    /** Its time goes on while it waits here. */
+    private Server.Request aged(Waiting w) {
+        long left = PlatformFront.remaining(w.request.header("X-Remaining")), waited = io.clock.now() - w.since;
+        if (left > 0 && waited > Clock.MS) {
+            w.request.headers().put(new io.undertow.util.HttpString("X-Remaining"), Math.max(0, left - waited) / 1_000 + "u");
+        }
+        return w.request;
+    }
+}
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -131,6 +131,11 @@
         notices.tell();
     }
 
+    /** Whether another process tells the platform from now on. */
+    public void passOn(boolean passedOn) {
+        notices.passOn(passedOn);
+    }
+
     /** The platform's place for notices is elsewhere from now on. */
     public void move(UpstreamHost platform) {
         notices.move(platform);
--- /dev/null
+++ b/src/main/java/elderseam/upgrade/Frame.java
@@ -0,0 +1,100 @@
+package elderseam.upgrade;
+
+import elderseam.core.Relay;
+import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.core.UpstreamRequest.Status;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What travels over the link, decoded once. */
+public sealed interface Frame {
+    /** A frame of the link's first version; another version is refused by closing the link. */
+    byte VERSION = 1;
+    int MOST = 8 << 20;
+
+    /** The newer process is warm: it asks for everything. */
+    record Take() implements Frame {}
+
+    /** All that the older process passes on: the list of hosts in discovery's form, what its module has learned, whether a drain by
+     *  hand lasts, the calls that are out. The journal has the rest. */
+    record Give(String list, Relay.Estate estate, boolean drains) implements Frame {}
+
+    /** The newer process owns the folder. */
+    record Owned() implements Frame {}
+
+    /** Stop waiting for a call. */
+    record Abandon(String id, int attempt) implements Frame {}
+
+    /** A call has ended; {@code late}: its answer came after it had been given up. */
+    record Ended(Relay.Passed passed) implements Frame {}
+
+    default void to(DataOutputStream out) throws IOException {
+        out.writeByte(VERSION);
+        if (this instanceof Take) {
+            out.writeByte(1);
+        } else if (this instanceof Give g) {
+            out.writeByte(2);
+            byte[] list = g.list.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            out.writeInt(list.length);
+            out.write(list);
+            out.writeInt(g.estate.learned().length);
+            out.write(g.estate.learned());
+            out.writeBoolean(g.drains);
+            out.writeInt(g.estate.out().size());
+            for (Relay.Out o : g.estate.out()) {
+                out.writeUTF(o.id());
+                out.writeInt(o.attempt());
+                out.writeUTF(o.host());
+                out.writeLong(o.agoNs());
+            }
+        } else if (this instanceof Owned) {
+            out.writeByte(3);
+        } else if (this instanceof Abandon a) {
+            out.writeByte(4);
+            out.writeUTF(a.id);
+            out.writeInt(a.attempt);
+        } else if (this instanceof Ended e) {
+            out.writeByte(5);
+            Relay.Passed p = e.passed;
+            out.writeUTF(p.id());
+            out.writeInt(p.attempt());
+            out.writeUTF(p.host());
+            out.writeBoolean(p.late());
+            out.writeByte(p.end().progress().ordinal());
+            out.writeByte(p.end().status().ordinal());
+            out.writeLong(p.end().waitNs());
+            out.writeDouble(p.end().shareLeft());
+            out.writeDouble(p.end().limitPerS());
+        }
+    }
+
+    static Frame from(DataInputStream in) throws IOException {
+        byte version = in.readByte();
+        if (version != VERSION) {
+            throw new IOException("the other process speaks version " + version + ", this one " + VERSION);
+        }
+        byte type = in.readByte();
+        return switch (type) {
+            case 1 -> new Take();
+            case 2 -> {
+                byte[] list = in.readNBytes(in.readInt());
+                byte[] learned = in.readNBytes(in.readInt());
+                boolean drains = in.readBoolean();
+                List<Relay.Out> out = new ArrayList<>();
+                for (int n = in.readInt(); n > 0; n--) {
+                    out.add(new Relay.Out(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
+                }
+                yield new Give(new String(list, java.nio.charset.StandardCharsets.UTF_8), new Relay.Estate(learned, out), drains);
+            }
+            case 3 -> new Owned();
+            case 4 -> new Abandon(in.readUTF(), in.readInt());
+            case 5 -> new Ended(new Relay.Passed(in.readUTF(), in.readInt(), in.readUTF(), in.readBoolean(), new End(
+                    Progress.values()[in.readByte()], Status.values()[in.readByte()], in.readLong(), in.readDouble(), in.readDouble())));
+            default -> throw new IOException("unknown frame " + type);
+        };
+    }
+}
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -62,7 +62,7 @@
         journal.sent("c");
         churn();
         again();
-        List<Stream> back = journal.unfinished();
+        List<Stream> back = journal.unfinished(java.util.Set.of());
         assertEquals(List.of("a2true", "b1false", "c1true"),
                 back.stream().map(s -> s.id() + s.attempts + s.mayHaveRun).toList());
         Stream a = back.get(0);
@@ -90,7 +90,7 @@
         assertEquals(Answer.FAILED, journal.answer("f"));
         assertEquals(List.of("u9"), journal.owed().entrySet().stream()
                 .map(e -> e.getKey().id() + e.getValue().againNs()).toList());
-        assertEquals(List.of(), journal.unfinished());
+        assertEquals(List.of(), journal.unfinished(java.util.Set.of()));
     }
 
     /** Ids are always new: those whose end need not be remembered must not stay until the file is full. */
@@ -149,7 +149,7 @@
             assertEquals(Answer.DELIVERED, journal.answerOf("s1:d"));
             assertNull(journal.answerOf("s1:r"));
             assertNull(journal.answerOf("s1:p"));
-            assertEquals(List.of("p s1:p"), journal.unfinished().stream().map(x -> x.id() + " " + x.message.same()).toList());
+            assertEquals(List.of("p s1:p"), journal.unfinished(java.util.Set.of()).stream().map(x -> x.id() + " " + x.message.same()).toList());
             assertEquals(List.of("copy s1:p"), journal.joined().stream().map(x -> x.id() + " " + x.same()).toList());
             assertEquals(java.util.Set.of("s1", "s2"), journal.schemes().keySet());
             if (round == 1) {
