--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -228,6 +228,9 @@
         passing = new Passing(io, servers.get(0).address());
         discovery.passOn();
         front.passOn(true);
+        if (gossip != null) {
+            gossip.leave();   // its address is the other process's from now on
+        }
         return new Frame.Give(discovery.list(), relay.passOn(told), life.drains());
     }
 
@@ -237,6 +240,7 @@
             for (Server s : servers) {
                 s.accept();
             }
+            gossip = gossip == null ? null : new GossipWiring(io, settings, relay);
         } catch (IOException e) {   // the address is another's: this process is of no use any more
             System.err.println("upgrade: " + e);
             Runtime.getRuntime().halt(1);
@@ -252,10 +256,8 @@
     @Override
     public void leave() {
         life.end();
-        if (gossip != null) {
-            gossip.leave();
-        }
         servers.forEach(s -> s.closing(true));
+        servers.stream().skip(1).forEach(Server::closeConnections);   // clients of events ask again, with the same identity
         upstream.closeIdle();
         passing.open();
         endsBy = io.clock.now() + UNASKED_NS;
--- a/src/main/java/elderseam/Succession.java
+++ b/src/main/java/elderseam/Succession.java
@@ -31,7 +31,7 @@
         void abandon(String id, int attempt);
     }
 
-    private static final long AGAIN_NS = 20 * Clock.MS;
+    private static final long AGAIN_NS = 20 * Clock.MS, REGAIN_NS = 300 * Clock.MS;
 
     private final Io io;
     private final Owner owner;
@@ -111,7 +111,7 @@
             case RESUME -> {
                 System.err.println("the newer process failed; going on");
                 link = null;
-                regain();
+                regain(io.clock.now() + REGAIN_NS);
             }
             case FAIL -> {
                 System.err.println("the newer process ended; this one has passed its work on, and ends too");
@@ -121,8 +121,8 @@
         }
     }
 
-    /** Nothing is decided until the lock is held again: the other process may be about to die with it. */
-    private void regain() {
+    /** Nothing is decided until the lock is held again, with which the other process may be about to die. Where it lives, it owns. */
+    private void regain(long by) {
         try {
             if (owner.take()) {
                 List<Relay.Passed> all = List.copyOf(heard);
@@ -133,6 +133,10 @@
         } catch (IOException e) {
             System.err.println("upgrade: " + e);
         }
-        io.at(io.clock.now() + AGAIN_NS, this::regain);
+        if (io.clock.now() > by) {
+            System.err.println("upgrade: another process owns the folder; this one ends");
+            Runtime.getRuntime().halt(1);
+        }
+        io.at(io.clock.now() + AGAIN_NS, () -> regain(by));
     }
 }
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -30,6 +30,7 @@
  * hN         an upstream host; odd N serve destination 1, even N destination 2
  * platform   discovery and the place for notices; it answers by itself: 204, and the watch
  * relay      the program
+ * older      the process before, after "relay wait beside": close kill, close term, wait exit CODE
  * operator   calls on the second address
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
@@ -44,6 +45,7 @@
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
  * expect     relay: a line of its log, of this start and not passed over yet, holds these words
+ *            relay: beside (another process on the same folder and address has taken over; this one is "older" from then on)
  * ask        operator: this line on the second address -> what the answer holds, each of these parts (set apart by ;)
  * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
  *            reload (done), kept (the old configuration), exit CODE
@@ -66,7 +68,8 @@
     private volatile long answered = System.nanoTime();
     private final long diskMb;
     private volatile int deaf;
-    private Process program;
+    private Process program, older;
+    private String address = "127.0.0.1:0";
     private final Map<Character, CompletableFuture<String>> fronts = new ConcurrentHashMap<>();
     private BlockingQueue<String> said = new LinkedBlockingQueue<>();
     private String events = "", listen = "127.0.0.1:0";
@@ -146,6 +149,8 @@
     private void step(String party, String verb, String words) throws Exception {
         if (party.equals("relay")) {
             relay(verb, words);
+        } else if (party.equals("older")) {
+            process(older, verb, words);
         } else if (party.equals("operator")) {
             ask(words.split("->"));
         } else if (party.equals("platform")) {
@@ -179,15 +184,28 @@
             return;
         }
         switch (verb + " " + words) {
-            case "close kill" -> program.destroyForcibly().waitFor();
-            case "close term" -> program.toHandle().destroy();   // the process's own destroy() closes its log, too
             case "wait start" -> start();
+            case "wait beside" -> {
+                Map<String, Wire.Link> kept = Map.copyOf(links);
+                older = program;
+                launch();
+                links.putAll(kept);
+                front('c');
+            }
             case "wait drain" -> front('d');
             case "wait reload" -> front('r');
             case "wait kept" -> front('k');
+            default -> process(program, verb, words);
+        }
+    }
+
+    private static void process(Process p, String verb, String words) throws InterruptedException {
+        switch (verb + " " + words) {
+            case "close kill" -> p.destroyForcibly().waitFor();
+            case "close term" -> p.toHandle().destroy();   // the process's own destroy() closes its log, too
             default -> {
-                assertTrue(program.waitFor(Wire.PATIENCE_S, TimeUnit.SECONDS), "still running");
-                assertEquals("wait exit " + program.exitValue(), verb + " " + words);
+                assertTrue(p.waitFor(Wire.PATIENCE_S, TimeUnit.SECONDS), "still running");
+                assertEquals("wait exit " + p.exitValue(), verb + " " + words);
             }
         }
     }
@@ -346,6 +364,19 @@
         events = lines;
     }
 
+    /** Starts listen at one address of this scenario's own. */
+    void fixed() throws IOException {
+        address = Wire.own().getHostAddress() + ":8443";
+    }
+
+    /** A link to the program such as a newer process has, on which it was asked for everything. */
+    elderseam.upgrade.Link asking() throws IOException {
+        front('o');
+        elderseam.upgrade.Link link = elderseam.upgrade.Link.connect(state());
+        link.send(new elderseam.upgrade.Frame.Take());
+        return link;
+    }
+
     /** The next start has no second address. */
     void withoutControl() {
         operated = false;
@@ -459,7 +490,7 @@
         ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + SOCKETS + "; exec nice -n " + nice + " \"$@\"", "sh",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), flag, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "elderseam.Main", "serve", folder.resolve("elderseam.ini").toString());
-        b.environment().putAll(Map.of("RELAY_NAME", "n1", "RELAY_LISTEN", "127.0.0.1:0", "RELAY_DISCOVERY",
+        b.environment().putAll(Map.of("RELAY_NAME", "n1", "RELAY_LISTEN", address, "RELAY_DISCOVERY",
                 Wire.address(platform), "RELAY_STATE", folder.resolve("state").toString(), "RELAY_CONFIG",
                 folder.resolve("config.json").toString()));
         if (operated) {
@@ -524,8 +555,10 @@
 
     @Override
     public void close() throws IOException {
-        if (program != null) {
-            program.destroyForcibly().onExit().join();
+        for (Process p : new Process[] {older, program}) {
+            if (p != null) {
+                p.destroyForcibly().onExit().join();
+            }
         }
         platform.close();
         for (Host h : hosts.values()) {
