Calls unheard at the older process's end lay nothing on their host

A destination of no known rate ramped up at rate 0 after a return; found by SuccessionTest. Relay, module and figures tested on passing on, taking back, bans and batches.

--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -206,6 +206,7 @@
     /** Begins with what an older process has passed on, whose calls are still out; the code that is needed has run already. */
     private void takeOver(Frame.Give given) throws IOException {
         Link link = won.link();
+        upstream.most(config.limits().upstream() / 2);   // descriptors are counted for both processes
         relay.takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
         discovery.known(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
         if (given.drains() && life.drain()) {
@@ -216,7 +217,10 @@
             if (frame instanceof Frame.Ended e) {
                 io.run(() -> relay.passed(e.passed()));
             }
-        }, () -> io.run(relay::unheard));
+        }, () -> io.run(() -> {
+            upstream.most(config.limits().upstream());
+            relay.unheard();
+        }));
         relay.recover(front::owed, this::ready);
     }
 
@@ -228,6 +232,7 @@
         passing = new Passing(io, servers.get(0).address());
         discovery.passOn();
         front.passOn(true);
+        upstream.closeIdle();
         if (gossip != null) {
             gossip.leave();   // its address is the other process's from now on
         }
@@ -258,7 +263,6 @@
         life.end();
         servers.forEach(s -> s.closing(true));
         servers.stream().skip(1).forEach(Server::closeConnections);   // clients of events ask again, with the same identity
-        upstream.closeIdle();
         passing.open();
         endsBy = io.clock.now() + UNASKED_NS;
         io.at(io.clock.now() + COMING_NS, this::left);
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -279,7 +279,7 @@
 
     private void unheard(Stream s, Leg leg) {
         if (s.out != null && s.leg == leg && adopted.remove(s.id())) {
-            leg.ended(UpstreamRequest.End.unanswered(UpstreamRequest.Progress.WRITTEN, UpstreamRequest.Status.BROKEN));
+            leg.ended(UpstreamRequest.End.unanswered(UpstreamRequest.Progress.WRITTEN, UpstreamRequest.Status.ABANDONED));   // its host did nothing
         }
     }
 
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -94,7 +94,8 @@
 
     private final Io io;
     private final long idleNs;
-    private final int most, mostBody;
+    private int most;
+    private final int mostBody;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
     private final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
     private int open;                                                          // with those still connecting
@@ -118,6 +119,11 @@
         }
     }
 
+    /** No more than so many are open at once from now on; those that are open stay. */
+    public void most(int most) {
+        this.most = most;
+    }
+
     /** Closes all that stands idle. */
     public void closeIdle() {
         List.copyOf(idle.keySet()).forEach(this::closeIdle);
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -160,6 +160,8 @@
         long restUntil;
     }
 
+    private static final double MOST_GAP_NS = 1e9;   // between two calls to a cold endpoint
+
     /** A listed endpoint. */
     static final class Target {
         final String address;
@@ -222,7 +224,7 @@
 
         /** A call begins; {@code rate}: what its destination stands while as cold as this one, of which it has its part. */
         void called(long now, double rate) {
-            nextCold = cold(now) ? now + (long) (1e9 * dest.targets.size() / rate) : 0;
+            nextCold = cold(now) ? now + (long) Math.min(MOST_GAP_NS, 1e9 * dest.targets.size() / rate) : 0;
         }
 
         /** Whether nothing is sent there now: by the list, by hand, asleep or in a told wait. */
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -139,6 +139,7 @@
         double rampRate(long now, long from) {
             double base = Math.max(norm, weight / settings.senders());
             double warm = Math.min(1, (double) (now - from) / Math.max(1, settings.coldNs()));
+            base = base > 0 ? base : UNTOLD / settings.senders();
             base *= Math.max(1, settings.fallMultiple() / MARGIN);
             return base * (settings.coldShare() + (1 - settings.coldShare()) * warm);
         }
--- a/src/main/java/elderseam/platform/Passing.java
+++ b/src/main/java/elderseam/platform/Passing.java
@@ -9,7 +9,7 @@
 import elderseam.http.Server;
 import elderseam.http.UpstreamHost;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -22,7 +22,7 @@
  */
 public final class Passing {
     private static final long ANSWER_NS = 2_000 * Clock.MS;         // a client waits 0.4 s
-    private static final int MOST = 64;
+    private static final int MOST = 32;                             // under way at once; descriptors are counted for both processes
     private static final Set<String> OWN = Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
 
     private record Waiting(Server.Request request, Server.Answerer to, long since) {}
@@ -30,7 +30,7 @@
     private final Io io;
     private final Connections connections;
     private final UpstreamHost next;
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private boolean open;
     private int out;
 
@@ -42,18 +42,20 @@
 
     public void handle(Server.Request request, Server.Answerer to) {
         Waiting w = new Waiting(request, to, io.clock.now());
-        if (open) {
-            pass(w);
-        } else {
-            waiting.add(w);
-        }
+        waiting.add(w);
+        passAll();
     }
 
     /** The next process listens. */
     public void open() {
         open = true;
-        waiting.forEach(this::pass);
-        waiting.clear();
+        passAll();
+    }
+
+    private void passAll() {
+        while (open && out < MOST && !waiting.isEmpty()) {
+            pass(waiting.poll());
+        }
     }
 
     /** It never will: they are this process's own again. */
@@ -81,6 +83,7 @@
         connections.send(next, new Call(r.method(), r.path(), headers, r.body()), by, by, reply -> {
             out--;
             answer(reply, w.to);
+            passAll();
         });
     }
 
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -34,10 +34,16 @@
 
     @BeforeEach
     void start() throws Exception {
+        relay = another();
+        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+    }
+
+    /** One more on the same folder, as the next process has it. */
+    private Relay another() throws Exception {
         Sender.Settings settings = new SettingsMap(Map.of("discovery", "ask", "extra.callSlots", "40", "limits.mostHeld", "64",
                 "limits.maxAttempts", "3", "services.count", "1", "services.0.effect", "once", "services.0.targetNs",
                 "2000000000", "services.0.giveUpNs", "9000000000")).settings();
-        relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, new Loop() {
+        Relay relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, new Loop() {
             @Override
             public void at(long time, Runnable task) {
                 (time <= clock.now() ? soon : timers).add(task);
@@ -68,7 +74,7 @@
             public void closeIdle(String host) {
             }
         });
-        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        return relay;
     }
 
     /** What is to be done at once is done. */
@@ -171,6 +177,80 @@
         assertEquals(1, out.size());
     }
 
+    private static final End DELIVERED = new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
+
+    /** Passed on with calls out: the next one tells each end once, and what the first still hears of them goes there. */
+    @Test
+    void callsThatAreOutArePassedOn() throws Exception {
+        take("a");
+        take("b");
+        List<Relay.Passed> told = new ArrayList<>();
+        Relay.Estate estate = relay.passOn(told::add);
+        assertEquals(2, estate.out().size());
+        assertFalse(attempts.get(0).mayLeave(), "what has not left must not any more");
+        assertEquals(Answer.Kind.REFUSED, take("c").kind());
+        Relay next = another();
+        List<String> abandoned = new ArrayList<>();
+        next.takeOver(estate, o -> abandoned.add(o.id()));
+        next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        next.recover(() -> 0, () -> { });
+        assertEquals(List.of(2, 2), List.of(next.held(), next.out()));
+        assertEquals(2, out.size(), "nothing is sent again");
+        out.get(0).accept(DELIVERED);
+        assertEquals(List.of(), ended, "the first one decides nothing any more");
+        next.passed(told.get(0));
+        next.passed(told.get(0));
+        assertEquals(List.of("a DELIVERED"), ended);
+        next.unheard();
+        next.unheard();
+        assertEquals(List.of("a DELIVERED", "b FAILED"), ended, "once-only, and it may have run");
+        assertEquals(0, next.held() + next.out());
+        out.get(1).accept(DELIVERED);
+        next.passed(told.get(1));
+        assertEquals(2, ended.size());
+        assertEquals(List.of(), abandoned);
+    }
+
+    /** Taken back: what was heard meanwhile counts, in the journal too. */
+    @Test
+    void whatWasNotTakenOverIsKept() throws Exception {
+        take("a");
+        List<Relay.Passed> told = new ArrayList<>();
+        relay.passOn(told::add);
+        out.get(0).accept(DELIVERED);
+        relay.keep(told);
+        assertEquals(List.of("a DELIVERED"), ended);
+        assertNull(take("b"));
+        assertEquals(2, out.size());
+        out.get(1).accept(DELIVERED);
+        Relay next = another();
+        next.recover(() -> 0, () -> { });
+        assertEquals(0, next.held());
+        assertEquals(List.of("a DELIVERED", "b DELIVERED"), ended);
+    }
+
+    /** A ban is on disk, and whatever the list says the module obeys it. */
+    @Test
+    void aBanOutlastsListAndProcess() throws Exception {
+        assertEquals(Relay.Detaching.UNKNOWN, relay.detach("never", true));
+        assertEquals(Relay.Detaching.DONE, relay.detach("h", true));
+        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        assertNull(take("a"));
+        assertEquals(0, out.size());
+        relay = another();
+        relay.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.recover(() -> 0, () -> { });
+        assertEquals(0, out.size());
+        assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=1"));
+        assertEquals(Relay.Detaching.DONE, relay.detach("h", false));
+        assertEquals(Relay.Detaching.DONE, relay.detach("h", false));
+        settle();
+        assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=0"));
+        relay = another();
+        relay.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=0"));
+    }
+
     /** While much is taken back, answers that are read in one pass are decided on together. */
     @Test
     void answersOfOnePassShareATurnDuringRecovery() {
--- /dev/null
+++ b/src/test/java/elderseam/module/SuccessionTest.java
@@ -0,0 +1,142 @@
+package elderseam.module;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.module.Sender.Listing;
+import elderseam.module.Sender.Result;
+import java.util.ArrayDeque;
+import org.junit.jupiter.api.Test;
+
+/** What a sender passes on to the one in its place, and what it makes of an endpoint that comes back. */
+class SuccessionTest {
+    /** First written, then read. */
+    private static final class Copy implements Sender.Ledger {
+        private final ArrayDeque<Object> values = new ArrayDeque<>();
+        private boolean reads;
+
+        @SuppressWarnings("unchecked")
+        private <T> T pass(T value) {
+            if (!reads) {
+                values.add(value);
+                return value;
+            }
+            return (T) values.remove();
+        }
+
+        @Override
+        public long whole(long value) {
+            return pass(value);
+        }
+
+        @Override
+        public double real(double value) {
+            return pass(value);
+        }
+
+        @Override
+        public long time(long value) {
+            return pass(value);
+        }
+
+        @Override
+        public String text(String value) {
+            return pass(value);
+        }
+    }
+
+    /** A sender that was told all that the other knows. */
+    private static Rig heir(Rig of) {
+        Copy copy = new Copy();
+        of.brain.carry(of.now, copy);
+        copy.reads = true;
+        Rig heir = new Rig(of.settings, 8);
+        heir.now = of.now;
+        heir.listed.putAll(of.listed);
+        heir.waits.putAll(of.waits);
+        heir.brain.carry(of.now, copy);
+        assertTrue(copy.values.isEmpty(), "all that was written is read");
+        return heir;
+    }
+
+    @Test
+    void aToldWaitAndAnOpenBreakerGoAlong() {
+        Rig rig = Rig.simple(8);
+        String id = rig.submit(0, -1, 1);
+        rig.answer(rig.only(id), Result.FULL, 5 * Rig.S);
+        rig.brain.turnEnd(rig.now);
+        Rig heir = heir(rig);
+        assertEquals(new Sender.Listed(1, 1), heir.brain.listed(heir.now));
+        assertFalse(heir.brain.mayCall(heir.now, "a:1"));
+        String next = heir.submit(0, -1, 1);   // the rig asserts that the wait is heeded
+        heir.pass(4 * Rig.S);
+        assertFalse(heir.sent(next));
+        heir.pass(8 * Rig.S);
+        assertTrue(heir.sent(next));
+    }
+
+    /** The older process's call holds ticket and slot here, and is not made again; its end counts as any other. */
+    @Test
+    void aCallThatIsOutIsNotMadeAgain() {
+        Rig rig = Rig.simple(1);
+        String id = rig.submit(2, -1, 1);
+        Rig.Attempt out = rig.only(id);
+        Rig heir = heir(rig);
+        Rig.Sent sent = rig.messages.get(id);
+        heir.messages.put(id, sent);
+        heir.active.put(id, sent);
+        heir.brain.restored(heir.now, sent.msg, 1, false, 0);
+        heir.brain.adopted(heir.now, id, out.endpoint(), out.start());
+        heir.brain.turnEnd(heir.now);
+        Sender.Message second = new Sender.Message("second", 0, 0, -1, heir.now + 20 * Rig.S, 1, false);
+        Rig.Sent waits = new Rig.Sent(second, heir.settings.classes().get(0));
+        heir.messages.put("second", waits);
+        heir.active.put("second", waits);
+        heir.brain.message(heir.now, second);
+        heir.pass(200 * Rig.MS);
+        assertFalse(heir.sent("second"), "the one slot is taken");
+        assertEquals(1, sent.out.size());
+        heir.answer(id, Result.DELIVERED);
+        assertTrue(heir.sent("second"));
+    }
+
+    /** One that is back after a drain may have been started anew: few calls at first, while its neighbour goes on as before. */
+    @Test
+    void whatIsReadyAgainIsCold() {
+        Rig rig = Rig.simple(40);
+        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("b:1", 1, 0, Listing.READY));
+        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.DRAINING));
+        rig.pass(100 * Rig.MS);
+        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.READY));
+        for (int i = 0; i < 20; i++) {
+            rig.submit(0, -1, 1);
+        }
+        long cold = rig.out().stream().filter(a -> a.endpoint().equals("a:1")).count();
+        assertEquals(1, cold);
+        assertEquals(19, rig.out().size() - cold);
+        rig.out().forEach(a -> rig.answer(a, Result.DELIVERED, 0));
+        rig.pass(10 * Rig.S);   // warm by the settings
+        for (int i = 0; i < 20; i++) {
+            rig.submit(0, -1, 1);
+        }
+        assertTrue(rig.out().stream().filter(a -> a.endpoint().equals("a:1")).count() > 5);
+    }
+
+    /** Where it is the only one, its destination is caught up with step by step. */
+    @Test
+    void anOnlyEndpointThatIsBackIsRampedUp() {
+        Rig rig = Rig.simple(40);
+        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.DRAINING));
+        for (int i = 0; i < 20; i++) {
+            rig.submit(0, -1, 1);
+        }
+        rig.pass(100 * Rig.MS);
+        assertEquals(0, rig.out().size());
+        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.READY));
+        rig.pass(100 * Rig.MS);
+        assertTrue(rig.out().size() <= 2, rig.out().size() + " calls at once to a cold one");
+        rig.pass(5 * Rig.S);
+        assertTrue(rig.out().size() > 2, "and never more");
+    }
+}
--- a/src/test/java/elderseam/scenario/ControlTest.java
+++ b/src/test/java/elderseam/scenario/ControlTest.java
@@ -47,6 +47,10 @@
         }
     }
 
+    private static String event(String id) {
+        return "{\"specversion\":\"1.0\",\"type\":\"job-order\",\"source\":\"/s\",\"id\":\"" + id + "\",\"destination\":2}";
+    }
+
     /** Each figure counts its event: delivered, refused, handed back, failed, called, avoided. */
     @Test
     void figuresCountWhatHappened() throws Exception {
@@ -71,11 +75,22 @@
                     h1 expect d
                     h1 send 429; X-RateLimit-Wait-Ms: 60000
                     platform expect d; deferred
-                    """.replace("{to}", TO).replace("{to2}", TO.replace("dest=1", "dest=7")).replace("{to3}", TO.replace("20000m", "900m")));
+                    gone send POST /job-order; {to2} X-Txn: e
+                    gone close
+                    e1 send POST /events; Content-Type: application/cloudevents-batch+json | [{batch}]
+                    h2 expect job-order
+                    h2 send 200
+                    h2 expect job-order
+                    h2 send 200
+                    e1 expect 207
+                    """.replace("{to}", TO).replace("{to2}", TO.replace("dest=1", "dest=7")).replace("{to3}", TO.replace("20000m", "900m")).replace("{batch}", event("j1") + "," + event("j2")));
             assertEquals(List.of(1L, 2L, 0L, 3L, 0L, 1L), List.of(s.figure("calls.status-update.success"), s.figure("calls.status-update.busy"),
                     s.figure("calls.status-update.failure"), s.figure("calls.status-update.backend_calls"),
                     s.figure("calls.rent-payment.success"), s.figure("calls.rent-payment.failure")));
+            assertEquals(List.of(2L, 2L), List.of(s.figure("calls.job-order.success"), s.figure("calls.job-order.backend_calls")));
             assertEquals(1, s.figure("hosts_down"), "h1 told a long wait");
+            s.told("DETACH h2\n");
+            assertEquals(2, s.figure("hosts_down"), "and h2 by hand");
         }
     }
 
