Discovery's new place is asked for all until it answers; the stand-in loses no change

The stand-in's watch took a change out of a queue, and one that was given up took it along; told a version in a second step, it named one whose change it had not told. Found beside it: where the first answer of a new discovery failed, the next call named the old place's version, so lower numbers of the new one were never told (theNewPlaceIsAskedForAllUntilItAnswers fails without the repair). An upgrade asks for the whole list once, too.

--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -208,7 +208,7 @@
         Link link = won.link();
         upstream.most(config.limits().upstream() / 2);   // descriptors are counted for both processes
         relay.takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
-        discovery.known(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
+        discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
         if (given.drains() && life.drain()) {
             lameDuck();
         }
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -26,6 +26,7 @@
     private final Hosts hosts;
     private final Relay relay;
     private long version;
+    private boolean anew;              // a new place has not answered yet: its versions are not those of the old one
     private boolean stopped;           // another process watches
     private Connections.Request out;   // the one call under way, or none
 
@@ -43,9 +44,17 @@
         relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.at("servers"), true));
     }
 
+    /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
+    public void takenOver(Json list) {
+        anew = true;
+        known(list);
+    }
+
     /** Asks for news, unless a call is out. */
     public void watch() {
-        if (out == null && !stopped) {
+        if (out == null && !stopped && anew) {
+            ask("", io.clock.now() + ANSWER_NS);
+        } else if (out == null && !stopped) {
             ask("?after=" + version + "&wait_ms=" + WAIT_MS, io.clock.now() + WAIT_MS * Clock.MS + ANSWER_NS);
         }
     }
@@ -85,7 +94,8 @@
         }
         connections.closeIdle(address);
         address = to;
-        ask("", io.clock.now() + ANSWER_NS);
+        anew = true;
+        watch();
     }
 
     private void ask(String query, long by) {
@@ -104,6 +114,7 @@
             try {
                 Json list = Json.read(reply.body());
                 version = list.at("version").whole(version);
+                anew = false;
                 watch();
                 boolean whole = list.at("full").flag();
                 relay.hosts(whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -46,6 +46,30 @@
                 """.replace("{to}", TO));
     }
 
+    /** The new place's versions are its own: where its first answer fails, its whole list is asked for again. */
+    @Test
+    void theNewPlaceIsAskedForAllUntilItAnswers() throws Exception {
+        play(folder, """
+                platform watched 60000
+                platform send h2 SERVING
+                platform watched 60000
+                platform send h2 DRAINING
+                platform watched 60000
+                platform send h2 SERVING
+                platform watched 60000
+                platform move
+                platform send mute
+                relay hangup
+                relay wait reload
+                platform send h1 DRAINING
+                platform send h3 SERVING
+                c send POST /status-update; {to} X-Txn: say
+                c expect 202
+                h3 expect say
+                h3 send 200
+                """.replace("{to}", TO));
+    }
+
     /** The settings file is read again too: a fault of it leaves all as it was, RELAY_CONFIG's news with it. */
     @Test
     void aFaultOfTheSettingsChangesNothing() throws Exception {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -60,7 +60,7 @@
     private final Map<String, Wire.Link> links = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
-    private volatile BlockingQueue<String> changes = new LinkedBlockingQueue<>();
+    private volatile News news = new News();
     private final BlockingQueue<Long> gaps = new LinkedBlockingQueue<>();   // ms from an answer to the next watch
     private final List<Wire.Link> platformLinks = new ArrayList<>();
     private final InetAddress place = Wire.own();   // of the platform
@@ -77,6 +77,40 @@
     private boolean operated = true;
     private String flag = "-Xshare:auto";
 
+    /**
+     * Changes of the list, told to each watch that has not heard of them; "fail" and "mute" befall one watch. Changes and version are read
+     * in one step: a watch that was given up must take no change along, and none be told a version without its change.
+     */
+    private static final class News {
+        private static final int FIRST = 2;   // the configuration's list is version 1
+        private final List<String> changes = new ArrayList<>(), tricks = new ArrayList<>();
+
+        synchronized void add(String words) {
+            (words.equals("fail") || words.equals("mute") ? tricks : changes).add(words);
+            notifyAll();
+        }
+
+        record Told(List<String> changes, int version) {}
+
+        /** What is newer than that version, awaited for so many looks of 50 ms; null where the watch has been given up. */
+        synchronized Told since(int seen, Wire.Link link, int looks) throws InterruptedException {
+            for (int i = 0; i < looks; i++) {
+                if (link.read.contains(Wire.ENDED)) {
+                    return null;
+                }
+                if (!tricks.isEmpty()) {
+                    return new Told(List.of(tricks.remove(0)), seen);
+                }
+                int told = Math.max(0, seen - FIRST + 1);
+                if (told < changes.size()) {
+                    return new Told(List.copyOf(changes.subList(told, changes.size())), FIRST - 1 + changes.size());
+                }
+                wait(50);
+            }
+            return new Told(List.of(), Math.max(seen, FIRST - 1));
+        }
+    }
+
     /** A stand-in upstream host. */
     private static final class Host {
         record Asked(Wire.Link link, String message) {}
@@ -140,7 +174,7 @@
                 try {
                     step(part[0], part[1], part.length > 2 ? part[2] : "");
                 } catch (AssertionError | Exception e) {
-                    throw new AssertionError("at: " + line.strip() + ": " + e.getMessage(), e);
+                        throw new AssertionError("at: " + line.strip() + ": " + e.getMessage(), e);
                 }
             }
         }
@@ -256,7 +290,7 @@
 
     private void platform(String verb, String words) throws Exception {
         switch (verb) {
-            case "send" -> changes.add(words);
+            case "send" -> news.add(words);
             case "deaf" -> deaf = Integer.parseInt(words);
             case "close" -> {
                 platform.close();
@@ -269,7 +303,7 @@
                 synchronized (links) {
                     platformLinks.clear();
                 }
-                changes = new LinkedBlockingQueue<>();
+                news = new News();
                 listen(0);
             }
             case "start" -> listen(platform.getLocalPort());
@@ -445,23 +479,21 @@
                     return;
                 }
                 gaps.add((System.nanoTime() - answered) / 1_000_000);
-                BlockingQueue<String> from = changes;
-                String change = null;
-                for (int i = 0; i < 100 && change == null; i++) {   // a watch that was given up must take no change with it
-                    if (link.read.contains(Wire.ENDED)) {
-                        return;
-                    }
-                    change = from.poll(50, TimeUnit.MILLISECONDS);
-                }
-                if (change != null && change.startsWith("fail")) {
-                    link.reset();
+                News from = news;
+                java.util.regex.Matcher after = java.util.regex.Pattern.compile("after=(\\d+)").matcher(message);
+                int seen = after.find() ? Integer.parseInt(after.group(1)) : 0;
+                News.Told heard = from.since(seen, link, seen > 0 ? 100 : 1);
+                List<String> since = heard == null ? null : heard.changes;
+                if (since == null || since.contains("mute")) {
                     return;
                 }
-                if (change != null && change.startsWith("mute")) {
+                if (since.contains("fail")) {
+                    link.reset();
                     return;
                 }
-                link.write(Wire.answer(200, "", "{\"version\":2,\"full\":false,\"servers\":["
-                        + (change == null ? "" : entry(change.split(" ")[0], change.split(" ")[1])) + "]}"));
+                StringBuilder entries = new StringBuilder();
+                since.forEach(c -> entries.append(entries.isEmpty() ? "" : ",").append(entry(c.split(" ")[0], c.split(" ")[1])));
+                link.write(Wire.answer(200, "", "{\"version\":" + heard.version + ",\"full\":false,\"servers\":[" + entries + "]}"));
                 answered = System.nanoTime();
             } catch (IOException | InterruptedException e) {
                 // the program has gone
