--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -2,8 +2,10 @@
 
 import elderseam.cloudevents.EventConfig;
 import elderseam.cloudevents.EventFront;
+import elderseam.control.Command;
 import elderseam.control.ControlServer;
 import elderseam.control.Operators;
+import elderseam.control.Verdict;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
 import elderseam.core.Json;
@@ -187,7 +189,9 @@
         }
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
-            control.handler(new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin)::carryOut);
+            Operators operators = new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin);
+            control.handler(c -> succession.state() == Giving.State.GIVEN && !(c instanceof Command.Info)
+                    ? Verdict.no("this process passes its work on; ask the newer one, or again") : operators.carryOut(c));
             System.err.println("control on " + control.address());
         }
         Reload.onHangUp(() -> reading(variables), io::run);
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -464,9 +464,14 @@
         letGo = true;
     }
 
-    /** Nobody else has written meanwhile. */
+    /** The other process has ended. Whatever it did to the file before it owned it, what this one knows takes its place. */
     public void resume() {
         letGo = false;
+        try {
+            compact();
+        } catch (IOException e) {
+            System.err.println("journal: " + e);   // the old file stands, and is appended to as before
+        }
     }
 
     @Override
--- a/src/main/java/elderseam/upgrade/Link.java
+++ b/src/main/java/elderseam/upgrade/Link.java
@@ -14,6 +14,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -65,6 +66,7 @@
         Files.deleteIfExists(address(folder).getPath());   // the lock is held: it is of a dead process, or of one that has given
         ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         server.bind(address(folder));
+        Files.setPosixFilePermissions(address(folder).getPath(), PosixFilePermissions.fromString("rw-------"));
         thread("links", () -> {
             try {
                 while (true) {
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -218,6 +218,7 @@
         List<Relay.Passed> told = new ArrayList<>();
         relay.passOn(told::add);
         out.get(0).accept(DELIVERED);
+        Files.write(folder.resolve("journal"), new byte[7]);   // what the other did before it ended
         relay.keep(told);
         assertEquals(List.of("a DELIVERED"), ended);
         assertNull(take("b"));
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -36,6 +36,7 @@
                 relay wait reload
                 platform expect pay; undeliverable
                 platform send h3 SERVING
+                operator wait INFO -> hosts_listed=3
                 h1 close all
                 c send POST /status-update; {to} X-Txn: say
                 c expect 202
@@ -63,6 +64,7 @@
                 relay wait reload
                 platform send h1 DRAINING
                 platform send h3 SERVING
+                operator wait INFO -> hosts_listed=3
                 c send POST /status-update; {to} X-Txn: say
                 c expect 202
                 h3 expect say
