--- a/src/test/java/elderseam/emulator/WorldTest.java
+++ b/src/test/java/elderseam/emulator/WorldTest.java
@@ -67,6 +67,22 @@
         assertEquals(Map.of(), c.broken(), c.words());
     }
 
+    /** Few messages each, most of them killed at once while discovery is overbooked: calls add up to little more than messages. */
+    @ParameterizedTest
+    @ValueSource(ints = {8, 48})
+    void aFleetOutlivesAMassKill(int dispatchers) throws Exception {
+        Plan plan = PlanFile.of("herd", (BASE.replace("dispatchers = 3", "dispatchers = " + dispatchers) + trouble(Plan.Fault.FAIL)
+                + "[restart r]\nat = 12\nwithin = 0.5\npart = 0.8\nhow = kill\n[discovery d]\nlate_ms = 400\ndown_at = 12\ndown_for = 4\n")
+                .lines().toList(), Map.of());
+        Checkers c = new Checkers(64);
+        Tally tally = new Tally(plan);
+        new World(plan, "module", 4, List.of(tally, c)).run(s -> { });
+        Map<String, Double> f = tally.figures();
+        assertEquals(Map.of(), c.broken(), c.words());
+        assertTrue(f.get("service") > 0.7, f.toString());
+        assertTrue(java.util.Arrays.stream(tally.callsASecond()).sum() < 1.4 * f.get("messages"), f.toString());
+    }
+
     /** One seed gives one course, to the last figure; another seed another. */
     @Test
     void oneSeedGivesOneCourse() throws Exception {
--- a/src/test/java/elderseam/module/SuccessionTest.java
+++ b/src/test/java/elderseam/module/SuccessionTest.java
@@ -76,6 +76,20 @@
         assertTrue(heir.sent(next));
     }
 
+    @Test
+    void anOpenBreakerStaysOpen() {
+        Rig rig = Rig.simple(8);
+        for (int i = 0; i < 4; i++) {
+            rig.answer(rig.submit(2, i, 1), Result.ERROR);   // unsafe ones: each fails at once
+        }
+        Rig heir = heir(rig);
+        String id = heir.submit(0, -1, 1);
+        heir.pass(Rig.S);
+        assertFalse(heir.sent(id), "it sleeps");
+        heir.pass(4 * Rig.S);
+        assertTrue(heir.sent(id), "one trial");
+    }
+
     /** The older process's call holds ticket and slot here, and is not made again; its end counts as any other. */
     @Test
     void aCallThatIsOutIsNotMadeAgain() {
