Relay split: attempts and the hand-over between processes stand in classes of their own

Attempts begins, counts and hears them; Handover passes on and takes over. Three twins became one each: the window of a keyed stream taken back, giving up the attempt that is out, and the end of a delivery that came in time or late. No behaviour changes; tests follow the names, with their assertions.

--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/Daemon.java
@@ -7,6 +7,7 @@
 import elderseam.control.Operators;
 import elderseam.control.Verdict;
 import elderseam.core.Clock;
+import elderseam.core.Handover;
 import elderseam.core.Journal;
 import elderseam.core.Json;
 import elderseam.core.Lifecycle;
@@ -211,7 +212,7 @@
     private void takeOver(Frame.Give given) throws IOException {
         Link link = won.link();
         upstream.most(config.limits().upstream() / 2);   // descriptors are counted for both processes
-        relay.takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
+        relay.handover().takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
         discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
         if (given.drains() && life.drain()) {
             lameDuck();
@@ -219,11 +220,11 @@
         link.send(new Frame.Owned());
         link.reading(frame -> {
             if (frame instanceof Frame.Ended e) {
-                io.run(() -> relay.passed(e.passed()));
+                io.run(() -> relay.handover().passed(e.passed()));
             }
         }, () -> io.run(() -> {
             upstream.most(config.limits().upstream());
-            relay.unheard();
+            relay.handover().unheard();
         }));
         relay.recover(front::owed, this::ready);
     }
@@ -231,7 +232,7 @@
     // ---------------------------------------------------------------- passing on, as Succession asks
 
     @Override
-    public Frame.Give give(Consumer<Relay.Passed> told) {
+    public Frame.Give give(Consumer<Handover.Passed> told) {
         servers.forEach(Server::stopAccepting);
         passing = new Passing(io, servers.get(0).address());
         discovery.passOn();
@@ -240,11 +241,11 @@
         if (gossip != null) {
             gossip.leave();   // its address is the other process's from now on
         }
-        return new Frame.Give(discovery.list(), relay.passOn(told), life.drains());
+        return new Frame.Give(discovery.list(), relay.handover().passOn(told), life.drains());
     }
 
     @Override
-    public void resume(List<Relay.Passed> heard) {
+    public void resume(List<Handover.Passed> heard) {
         try {
             for (Server s : servers) {
                 s.accept();
@@ -256,7 +257,7 @@
         }
         Passing back = passing;
         passing = null;
-        relay.keep(heard);
+        relay.handover().keep(heard);
         front.passOn(false);
         discovery.resume();
         back.back(front::handle);
@@ -274,7 +275,7 @@
 
     @Override
     public void abandon(String id, int attempt) {
-        relay.abandon(id, attempt);
+        relay.handover().abandon(id, attempt);
     }
 
     /** Ends once the calls that are out have been told of and no client is connected. */
--- a/src/main/java/elderseam/Succession.java
+++ b/src/main/java/elderseam/Succession.java
@@ -1,7 +1,7 @@
 package elderseam;
 
 import elderseam.core.Clock;
-import elderseam.core.Relay;
+import elderseam.core.Handover;
 import elderseam.http.Io;
 import elderseam.upgrade.Frame;
 import elderseam.upgrade.Giving;
@@ -19,10 +19,10 @@
     /** What the daemon does at each step. */
     interface Estate {
         /** Stops deciding, accepting, watching and telling; the calls that are out go on, and are told. */
-        Frame.Give give(Consumer<Relay.Passed> told);
+        Frame.Give give(Consumer<Handover.Passed> told);
 
         /** Takes all of that back. */
-        void resume(List<Relay.Passed> heard);
+        void resume(List<Handover.Passed> heard);
 
         /** The other process has it: what clients still send goes there. */
         void leave();
@@ -37,7 +37,7 @@
     private final Owner owner;
     private final Estate estate;
     private final Giving giving = new Giving();
-    private final List<Relay.Passed> heard = new ArrayList<>();   // since it was given; as many as calls were out
+    private final List<Handover.Passed> heard = new ArrayList<>();   // since it was given; as many as calls were out
     private Link link;
     private ServerSocketChannel links;
 
@@ -125,7 +125,7 @@
     private void regain(long by) {
         try {
             if (owner.take()) {
-                List<Relay.Passed> all = List.copyOf(heard);
+                List<Handover.Passed> all = List.copyOf(heard);
                 heard.clear();
                 estate.resume(all);
                 return;
--- a/src/main/java/elderseam/core/Figures.java
+++ b/src/main/java/elderseam/core/Figures.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** The counters that operators read, each counted where its event happens; they begin at 0 with the process. */
-public final class Figures {
+final class Figures {
     private static final class Counts {
         long success, busy, failure, calls;
     }
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -267,24 +267,31 @@
         return entries.values().stream().filter(e -> e.joined && e.answer == null).map(e -> e.message).toList();
     }
 
-    /** The messages without an end, as an earlier process left them; {@code out}: those that it still has a call out for. */
+    /** The messages without an end, as an earlier process left them, but for those whose call it still has out. */
     List<Stream> unfinished(Set<String> out) {
         List<Stream> back = new ArrayList<>();
-        entries.values().forEach(e -> {
-            if (e.answer == null && !e.joined) {
-                if (!out.contains(e.message.id())) {
-                    result(e, e.outMs != 0);   // an attempt that was out may have run
-                }
-                Stream s = new Stream(e.message);
-                s.attempts = e.attempts;
-                s.mayHaveRun = e.firstRanMs != 0;
-                s.keyUntil = clock.fromWall(e.firstRanMs);
-                back.add(s);
+        entries.forEach((id, e) -> {
+            if (e.answer == null && !e.joined && !out.contains(id)) {
+                result(e, e.outMs != 0);   // an attempt that was out may have run
+                back.add(back(e));
             }
         });
         return back;
     }
 
+    /** Those of these that are unfinished; their calls are out. */
+    List<Stream> out(Set<String> ids) {
+        return ids.stream().map(entries::get).filter(e -> e != null && e.answer == null && !e.joined).map(this::back).toList();
+    }
+
+    private Stream back(Entry e) {
+        Stream s = new Stream(e.message);
+        s.attempts = e.attempts;
+        s.mayHaveRun = e.firstRanMs != 0;
+        s.keyUntil = clock.fromWall(e.firstRanMs);
+        return s;
+    }
+
     /** Whether anything of that front is unfinished or owed. */
     public boolean owes(byte front) {
         return entries.values().stream().anyMatch(e -> e.front == front && (e.answer == null || e.owed));
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -3,10 +3,8 @@
 import elderseam.module.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -29,18 +27,15 @@
     private final Clock clock;
     private final Loop loop;
     private final Map<Byte, Front> fronts = new HashMap<>();
-    private final Map<Byte, Upstream> upstreams = new HashMap<>();
     private final Map<String, Stream> streams = new HashMap<>();
     private final Copies copies;
     private final Detached detached;
     private final Figures figures;
-    private final Set<String> adopted = new HashSet<>();   // out at the process before this one
-    private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
+    private final Attempts attempts;
+    private final Handover handover;
     private Runnable watch = () -> { };
-    private Consumer<Passed> successor;   // once another process has taken over: it decides, this one tells it
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
-    private int out;
 
     public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop) {
         this(settings, seed, journal, clock, loop, words -> System.err.println("module: " + words));
@@ -56,12 +51,14 @@
         this.figures = new Figures(settings.classes().size());
         this.copies = new Copies(journal, clock, loop, fronts, figures);
         this.facade = new Facade(settings, seed, log);
+        this.attempts = new Attempts(this, settings, facade, journal, clock, loop, figures);
+        this.handover = new Handover(this, attempts, facade, journal, clock, loop);
     }
 
     /** Names a front, and who carries what it took on. */
     public void front(byte number, Front front, Upstream upstream) {
         fronts.put(number, front);
-        upstreams.put(number, upstream);
+        attempts.upstream(number, upstream);
     }
 
     /** {@code watch} is run when news of the list of hosts is wanted. */
@@ -71,7 +68,7 @@
 
     /** The list of hosts, or that it could not be had. */
     public void hosts(Sender.ListKind kind, List<Sender.Endpoint> hosts) {
-        if (successor == null) {
+        if (!handover.passedOn()) {
             facade.report(clock.now(), kind, detached.over(kind, hosts));
             turn();
         }
@@ -115,14 +112,8 @@
      * the process may call itself ready; {@code untold}: answers that the fronts have yet to tell.
      */
     public void recover(IntSupplier untold, Runnable ready) {
-        List<Stream> back = new ArrayList<>(journal.unfinished(adopted));
-        back.removeIf(s -> adopted.contains(s.id()));
-        for (Stream s : back) {
-            if (s.mayHaveRun) {
-                s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
-            }
-            takenBack(s);
-        }
+        List<Stream> back = journal.unfinished(handover.adopted());
+        back.forEach(this::takenBack);
         copies.recover();
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
         Recovery recovery = new Recovery(back, settings.classes(), settings.slots(), clock.now());
@@ -131,7 +122,11 @@
         recover(recovery, untold, told, ready);
     }
 
-    private void takenBack(Stream s) {
+    /** One that an earlier process had taken on. */
+    void takenBack(Stream s) {
+        if (s.mayHaveRun) {
+            s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
+        }
         s.owned = true;
         streams.put(s.id(), s);
         if (!s.message.same().isEmpty()) {
@@ -173,116 +168,6 @@
         }
     }
 
-    /** A call that is out at another process, which has passed its work on. */
-    public record Out(String id, int attempt, String host, long agoNs) {}
-
-    /** What this process still hears of a call, after it has passed its work on; {@code late}: after it had given the call up. */
-    public record Passed(String id, int attempt, String host, boolean late, UpstreamRequest.End end) {}
-
-    /** All that the next process needs besides the journal. */
-    public record Estate(byte[] learned, List<Out> out) {}
-
-    /**
-     * Passes all work on to another process: nothing is decided, begun or written here any more, and what is still heard of the
-     * calls that are out is told to it. {@link #keep()} takes that back.
-     */
-    public Estate passOn(Consumer<Passed> to) {
-        LedgerBytes.Writer learned = new LedgerBytes.Writer(clock);
-        facade.carry(clock.now(), learned);
-        List<Out> calls = new ArrayList<>();
-        streams.values().stream().filter(s -> s.out != null).forEach(s -> calls.add(
-                new Out(s.id(), s.attempts - 1, s.leg.host, clock.now() - s.leg.start)));
-        successor = to;
-        journal.letGo();
-        return new Estate(learned.bytes(), calls);
-    }
-
-    /** The other process has failed before it took over; {@code heard}: what it had been told of calls counts here. */
-    public void keep(List<Passed> heard) {
-        successor = null;
-        journal.resume();
-        heard.forEach(p -> {
-            Stream s = streams.get(p.id());
-            if (p.late()) {
-                facade.reportLate(clock.now(), p.host(), p.end());
-            } else if (s != null && s.leg != null && s.leg.number == p.attempt()) {
-                s.leg.ended(p.end());
-            }
-        });
-        tickAt = Long.MAX_VALUE;
-        turn();
-    }
-
-    /** Gives a call up that another process decides on. */
-    public void abandon(String id, int attempt) {
-        Stream s = streams.get(id);
-        if (s != null && s.out != null && s.attempts - 1 == attempt) {
-            s.out.abandon();
-        }
-    }
-
-    /**
-     * Takes over from another process, before {@link #recover}: what its module has learned, and its calls that are still out;
-     * {@code abandon} asks it to give one up.
-     */
-    public void takeOver(Estate estate, Consumer<Out> abandon) {
-        facade.carry(clock.now(), new LedgerBytes.Reader(estate.learned(), clock));
-        Map<String, Out> calls = new HashMap<>();
-        estate.out().forEach(o -> calls.put(o.id(), o));
-        for (Stream s : journal.unfinished(calls.keySet())) {
-            Out o = calls.get(s.id());
-            if (o == null || s.attempts - 1 != o.attempt()) {
-                continue;
-            }
-            if (s.mayHaveRun) {
-                s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
-            }
-            adopted.add(s.id());
-            takenBack(s);
-            facade.take(clock.now(), s);
-            long start = clock.now() - o.agoNs();
-            facade.adopt(clock.now(), s, o.host(), start);
-            out(s.message.destination(), 1);
-            s.leg = new Leg(s, o.attempt(), o.host(), start);
-            s.out = () -> abandon.accept(o);
-            Leg leg = s.leg;   // told in time even where the other process falls silent
-            loop.at(Math.max(clock.now(), s.message.deadline() - TELLING_NS / 2), () -> unheard(s, leg));
-        }
-    }
-
-    /** The other process tells of a call that it had out. */
-    public void passed(Passed p) {
-        Stream s = streams.get(p.id());
-        if (p.late()) {
-            Leg leg = s == null ? null : s.leg;
-            if (leg != null && leg.number == p.attempt()) {
-                leg.answeredLate(p.end());
-            } else {
-                facade.reportLate(clock.now(), p.host(), p.end());
-                answered();
-            }
-        } else if (s != null && s.out != null && s.leg.number == p.attempt() && adopted.remove(p.id())) {
-            s.leg.ended(p.end());
-        }
-    }
-
-    /** The other process has gone: the calls that it has not told of may have run. */
-    public void unheard() {
-        List.copyOf(adopted).forEach(id -> {
-            Stream s = streams.get(id);
-            if (s != null) {
-                unheard(s, s.leg);
-            }
-        });
-        adopted.clear();
-    }
-
-    private void unheard(Stream s, Leg leg) {
-        if (s.out != null && s.leg == leg && adopted.remove(s.id())) {
-            leg.ended(UpstreamRequest.End.unanswered(UpstreamRequest.Progress.WRITTEN, UpstreamRequest.Status.ABANDONED));   // its host did nothing
-        }
-    }
-
     /** Nobody looked at the network for so long; what had arrived meanwhile has been read. */
     public void away(long ns) {
         facade.away(clock.now(), ns);
@@ -299,7 +184,7 @@
 
     /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
     public Answer take(Stream.Message message, List<String> also) {
-        if (successor != null) {   // it was not passed on; nothing was taken
+        if (handover.passedOn()) {   // it was not passed on; nothing was taken
             return Answer.refused(ROOM_AGAIN_NS);
         }
         Answer known = journal.answer(message.id());
@@ -361,24 +246,12 @@
 
     /** From now on the calls out are counted by destination too. */
     public void countOut() {
-        outs = outs == null ? new HashMap<>() : outs;
+        attempts.countOut();
     }
 
     /** Calls out to a destination, where they are counted. */
     public int out(long destination) {
-        int[] n = outs == null ? null : outs.get(destination);
-        return n == null ? 0 : n[0];
-    }
-
-    private void out(long destination, int more) {
-        out += more;
-        if (outs != null) {
-            int[] n = outs.computeIfAbsent(destination, d -> new int[1]);
-            n[0] = Math.max(0, n[0] + more);   // those that were out before the counting began
-            if (n[0] == 0) {
-                outs.remove(destination);
-            }
-        }
+        return attempts.out(destination);
     }
 
     /** The front has told the client the answer; nothing is owed any more. */
@@ -402,19 +275,33 @@
         facade.advise(clock.now(), destination, doubt, trying);
     }
 
+    /** The work on its way from one process to the next. */
+    public Handover handover() {
+        return handover;
+    }
+
+    /** That stream, or null where it is not held or has ended. */
+    Stream stream(String id) {
+        return streams.get(id);
+    }
+
+    java.util.stream.Stream<Stream> streams() {
+        return streams.values().stream();
+    }
+
     public int held() {
         return streams.size() + copies.size();
     }
 
     public int out() {
-        return out;
+        return attempts.out();
     }
 
     /**
      * A turn for each answer; while much is taken back, one for all that is read in a pass, since each turn looks at every
      * stream that waits. (At all times it was measured, and cost 0.006 of G on a day of bad clients and spoilt answers.)
      */
-    private void answered() {
+    void answered() {
         if (recovering) {
             turnSoon();
         } else {
@@ -422,6 +309,12 @@
         }
     }
 
+    /** Timers that came due while another process decided did nothing. */
+    void turnAgain() {
+        tickAt = Long.MAX_VALUE;
+        turn();
+    }
+
     private void turnSoon() {
         if (!postponed) {
             postponed = true;
@@ -434,7 +327,7 @@
 
     /** What the module decides now is carried out; after a pause only once all that had arrived is read. */
     private void turn() {
-        if (turning || successor != null) {
+        if (turning || handover.passedOn()) {
             return;
         }
         if (loop.late()) {
@@ -477,101 +370,22 @@
 
     private void carryOut(Decision decision) {
         if (decision instanceof Decision.Send d) {
-            send(streams.get(d.id()), d.host(), d.answerBy());
-        } else if (decision instanceof Decision.Abandon d) {
             Stream s = streams.get(d.id());
-            if (s != null && s.out != null && s.attempts - 1 == d.attempt()) {
-                s.out.abandon();
+            if (s != null) {
+                attempts.send(s, d.host(), d.answerBy());
             }
+        } else if (decision instanceof Decision.Abandon d) {
+            Attempts.abandon(streams.get(d.id()), d.attempt());
         } else if (decision instanceof Decision.End d) {
             end(streams.get(d.id()), d.answer());
         } else if (decision instanceof Decision.CloseIdle d) {
-            new ArrayList<>(upstreams.values()).forEach(u -> u.closeIdle(d.host()));
+            attempts.closeIdle(d.host());
         } else if (decision instanceof Decision.Watch) {
             watch.run();
         }
     }
 
-    /** The journal knows of the attempt before its first byte can leave. */
-    private void send(Stream s, String host, long answerBy) {
-        if (s == null) {
-            return;
-        }
-        long start = clock.now(), left = s.message.deadline() - start;
-        out(s.message.destination(), 1);
-        Leg leg = new Leg(s, s.attempts++, host, start);
-        s.leg = leg;
-        long by = Math.min(answerBy, s.message.deadline() - Math.min(TELLING_NS, Math.max(0, left / 2)));
-        if (journal.sent(s.id())) {
-            s.out = upstreams.get(s.message.front()).send(s.message, host,
-                    Math.min(by, start + settings.connections().timeoutNs()), by, leg);
-        } else {   // unrecorded, it must not leave
-            loop.at(start, () -> leg.ended(UpstreamRequest.End.unanswered(
-                    UpstreamRequest.Progress.NOT_CONNECTED, UpstreamRequest.Status.BROKEN)));
-        }
-    }
-
-    /** One attempt, as its upstream knows it. */
-    final class Leg implements Attempt {
-        private final Stream stream;
-        private final int number;
-        private final String host;
-        private final long start;
-
-        Leg(Stream stream, int number, String host, long start) {
-            this.stream = stream;
-            this.number = number;
-            this.host = host;
-            this.start = start;
-        }
-
-        @Override
-        public boolean mayLeave() {
-            return successor == null && facade.mayCall(clock.now(), host);
-        }
-
-        @Override
-        public void written() {
-            figures.called(stream.message.cls());
-        }
-
-        @Override
-        public void ended(UpstreamRequest.End end) {
-            stream.out = null;
-            out(stream.message.destination(), -1);
-            if (successor != null) {
-                successor.accept(new Passed(stream.id(), number, host, false, end));
-                return;
-            }
-            journal.result(stream.id(), end.mayHaveRun());
-            stream.mayHaveRun |= end.mayHaveRun();
-            facade.report(clock.now(), stream.id(), number, host, start, end);
-            if (end.status() == UpstreamRequest.Status.DELIVERED) {
-                end(stream, Answer.DELIVERED);
-            } else if (end.status() == UpstreamRequest.Status.OVER) {
-                end(stream, Answer.OVER);
-            }
-            answered();
-        }
-
-        /** The delivery of one that is out again, or has its end, does not count a second time. */
-        @Override
-        public void answeredLate(UpstreamRequest.End end) {
-            if (successor != null) {
-                successor.accept(new Passed(stream.id(), number, host, true, end));
-                return;
-            }
-            facade.reportLate(clock.now(), host, end);
-            boolean over = end.status() == UpstreamRequest.Status.DELIVERED || end.status() == UpstreamRequest.Status.OVER;
-            if (over && stream.out == null && streams.get(stream.id()) == stream) {
-                facade.delivered(clock.now(), stream.id());
-                end(stream, end.status() == UpstreamRequest.Status.OVER ? Answer.OVER : Answer.DELIVERED);
-            }
-            answered();
-        }
-    }
-
-    private void end(Stream s, Answer decided) {
+    void end(Stream s, Answer decided) {
         if (s == null || s.answer != null) {
             return;
         }
--- a/src/main/java/elderseam/core/Stream.java
+++ b/src/main/java/elderseam/core/Stream.java
@@ -20,7 +20,7 @@
     boolean mayHaveRun;
     long keyUntil;
     UpstreamRequest out;      // the attempt under way, or none
-    Relay.Leg leg;            // the last attempt
+    Attempts.Leg leg;            // the last attempt
     Answer answer;
     boolean owned;            // its client was told that it is taken on
 
--- a/src/main/java/elderseam/upgrade/Frame.java
+++ b/src/main/java/elderseam/upgrade/Frame.java
@@ -1,6 +1,6 @@
 package elderseam.upgrade;
 
-import elderseam.core.Relay;
+import elderseam.core.Handover;
 import elderseam.core.UpstreamRequest.End;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
@@ -21,7 +21,7 @@
 
     /** All that the older process passes on: the list of hosts in discovery's form, what its module has learned, whether a drain by
      *  hand lasts, the calls that are out. The journal has the rest. */
-    record Give(String list, Relay.Estate estate, boolean drains) implements Frame {}
+    record Give(String list, Handover.Estate estate, boolean drains) implements Frame {}
 
     /** The newer process owns the folder. */
     record Owned() implements Frame {}
@@ -30,7 +30,7 @@
     record Abandon(String id, int attempt) implements Frame {}
 
     /** A call has ended; {@code late}: its answer came after it had been given up. */
-    record Ended(Relay.Passed passed) implements Frame {}
+    record Ended(Handover.Passed passed) implements Frame {}
 
     default void to(DataOutputStream out) throws IOException {
         out.writeByte(VERSION);
@@ -45,7 +45,7 @@
             out.write(g.estate.learned());
             out.writeBoolean(g.drains);
             out.writeInt(g.estate.out().size());
-            for (Relay.Out o : g.estate.out()) {
+            for (Handover.Out o : g.estate.out()) {
                 out.writeUTF(o.id());
                 out.writeInt(o.attempt());
                 out.writeUTF(o.host());
@@ -59,7 +59,7 @@
             out.writeInt(a.attempt);
         } else if (this instanceof Ended e) {
             out.writeByte(5);
-            Relay.Passed p = e.passed;
+            Handover.Passed p = e.passed;
             out.writeUTF(p.id());
             out.writeInt(p.attempt());
             out.writeUTF(p.host());
@@ -84,15 +84,15 @@
                 byte[] list = in.readNBytes(in.readInt());
                 byte[] learned = in.readNBytes(in.readInt());
                 boolean drains = in.readBoolean();
-                List<Relay.Out> out = new ArrayList<>();
+                List<Handover.Out> out = new ArrayList<>();
                 for (int n = in.readInt(); n > 0; n--) {
-                    out.add(new Relay.Out(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
+                    out.add(new Handover.Out(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
                 }
-                yield new Give(new String(list, java.nio.charset.StandardCharsets.UTF_8), new Relay.Estate(learned, out), drains);
+                yield new Give(new String(list, java.nio.charset.StandardCharsets.UTF_8), new Handover.Estate(learned, out), drains);
             }
             case 3 -> new Owned();
             case 4 -> new Abandon(in.readUTF(), in.readInt());
-            case 5 -> new Ended(new Relay.Passed(in.readUTF(), in.readInt(), in.readUTF(), in.readBoolean(), new End(
+            case 5 -> new Ended(new Handover.Passed(in.readUTF(), in.readInt(), in.readUTF(), in.readBoolean(), new End(
                     Progress.values()[in.readByte()], Status.values()[in.readByte()], in.readLong(), in.readDouble(), in.readDouble())));
             default -> throw new IOException("unknown frame " + type);
         };
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -184,29 +184,29 @@
     void callsThatAreOutArePassedOn() throws Exception {
         take("a");
         take("b");
-        List<Relay.Passed> told = new ArrayList<>();
-        Relay.Estate estate = relay.passOn(told::add);
+        List<Handover.Passed> told = new ArrayList<>();
+        Handover.Estate estate = relay.handover().passOn(told::add);
         assertEquals(2, estate.out().size());
         assertFalse(attempts.get(0).mayLeave(), "what has not left must not any more");
         assertEquals(Answer.Kind.REFUSED, take("c").kind());
         Relay next = another();
         List<String> abandoned = new ArrayList<>();
-        next.takeOver(estate, o -> abandoned.add(o.id()));
+        next.handover().takeOver(estate, o -> abandoned.add(o.id()));
         next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
         next.recover(() -> 0, () -> { });
         assertEquals(List.of(2, 2), List.of(next.held(), next.out()));
         assertEquals(2, out.size(), "nothing is sent again");
         out.get(0).accept(DELIVERED);
         assertEquals(List.of(), ended, "the first one decides nothing any more");
-        next.passed(told.get(0));
-        next.passed(told.get(0));
+        next.handover().passed(told.get(0));
+        next.handover().passed(told.get(0));
         assertEquals(List.of("a DELIVERED"), ended);
-        next.unheard();
-        next.unheard();
+        next.handover().unheard();
+        next.handover().unheard();
         assertEquals(List.of("a DELIVERED", "b FAILED"), ended, "once-only, and it may have run");
         assertEquals(0, next.held() + next.out());
         out.get(1).accept(DELIVERED);
-        next.passed(told.get(1));
+        next.handover().passed(told.get(1));
         assertEquals(2, ended.size());
         assertEquals(List.of(), abandoned);
     }
@@ -215,11 +215,11 @@
     @Test
     void whatWasNotTakenOverIsKept() throws Exception {
         take("a");
-        List<Relay.Passed> told = new ArrayList<>();
-        relay.passOn(told::add);
+        List<Handover.Passed> told = new ArrayList<>();
+        relay.handover().passOn(told::add);
         out.get(0).accept(DELIVERED);
         Files.write(folder.resolve("journal"), new byte[7]);   // what the other did before it ended
-        relay.keep(told);
+        relay.handover().keep(told);
         assertEquals(List.of("a DELIVERED"), ended);
         assertNull(take("b"));
         assertEquals(2, out.size());
--- a/src/test/java/elderseam/upgrade/LinkTest.java
+++ b/src/test/java/elderseam/upgrade/LinkTest.java
@@ -7,7 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.Relay;
+import elderseam.core.Handover;
 import elderseam.core.UpstreamRequest.End;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
@@ -32,9 +32,9 @@
 
 /** The link between two processes, and what travels on it. */
 class LinkTest {
-    private static final Relay.Passed PASSED = new Relay.Passed("m", 2, "h", true, new End(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
+    private static final Handover.Passed PASSED = new Handover.Passed("m", 2, "h", true, new End(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
     private static final Frame.Give GIVE = new Frame.Give("{\"name\":\"Österreich\"}",
-            new Relay.Estate(new byte[] {1, 2, 3}, List.of(new Relay.Out("a", 1, "h", 5))), true);
+            new Handover.Estate(new byte[] {1, 2, 3}, List.of(new Handover.Out("a", 1, "h", 5))), true);
 
     @TempDir
     Path folder;
