A cold endpoint's rate is reckoned only for a cold one; a watch is dropped in one place

The ramp's rate was computed for every call, on the hot path, and thrown away where the endpoint was warm. Discovery gave its watch up in two places with the same lines. ControlServer.close was never called.

--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -49,10 +49,6 @@
         this.handler = handler;
     }
 
-    public void close() {
-        IoUtils.safeClose(accepting);
-    }
-
     /** One connection; its line so far is held as text, since the buffer is shared by all. */
     private final class Caller {
         private final StreamConnection channel;
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -222,9 +222,9 @@
             return coldFrom != 0 && now - coldFrom < coldNs;
         }
 
-        /** A call begins; {@code rate}: what its destination stands while as cold as this one, of which it has its part. */
+        /** A call begins at a cold one; {@code rate}: what its destination stands while as cold, of which it has its part. */
         void called(long now, double rate) {
-            nextCold = cold(now) ? now + (long) Math.min(MOST_GAP_NS, 1e9 * dest.targets.size() / rate) : 0;
+            nextCold = now + (long) Math.min(MOST_GAP_NS, 1e9 * dest.targets.size() / rate);
         }
 
         /** Whether nothing is sent there now: by the list, by hand, asleep or in a told wait. */
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -1060,7 +1060,9 @@
                     call.idleNs = idle;
                 }
             }
-            t.called(now, c.rampRate(now, t.coldFrom));
+            if (t.cold(now)) {
+                t.called(now, c.rampRate(now, t.coldFrom));
+            }
             t.batch = call;
             t.out++;
             callsOut++;
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -62,6 +62,11 @@
     /** Another process watches from now on. */
     public void passOn() {
         stopped = true;
+        drop();
+    }
+
+    /** What is out counts for nothing, whatever it might still bring. */
+    private void drop() {
         Connections.Request old = out;
         out = null;
         if (old != null) {
@@ -87,12 +92,7 @@
         if (to.equals(address)) {
             return;
         }
-        Connections.Request old = out;
-        out = null;
-        if (old != null) {
-            old.abandon();
-        }
-        connections.closeIdle(address);
+        drop();
         address = to;
         anew = true;
         watch();
