--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -1,13 +1,10 @@
 package elderseam.core;
 
 import static elderseam.core.JournalRecords.HEAD;
-import static elderseam.core.JournalRecords.MOST;
 import static elderseam.core.JournalRecords.encode;
 
-import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -23,7 +20,6 @@
  * is what may count at any time. A message for which there is no room is not taken on.
  */
 public final class Journal implements AutoCloseable {
-    private static final int WINDOW = 1 << 20;
     private static final int BOOKKEEPING = 512;   // kept free for the later records of each unfinished message
     private static final int MARGIN = 16 << 10;
     private static final byte[] NONE = {};
@@ -378,42 +374,11 @@
         return at + record.length;
     }
 
-    /** Reads by the window: a call for each record of a full file took longer than all the rest of a start. */
     private void replay() throws IOException {
-        long length = store.length();
-        ByteBuffer window = ByteBuffer.allocate((int) Math.min(length, WINDOW));
-        window.flip();
-        while (size + HEAD <= length && fill(window, HEAD, size)) {
-            int bytes = window.getInt(window.position());
-            int sum = window.getInt(window.position() + 4);
-            if (bytes <= 0 || bytes > MOST || size + HEAD + bytes > length || !fill(window, HEAD + bytes, size)) {
-                break;
-            }
-            int from = window.position() + HEAD;
-            if (JournalRecords.checksum(window.array(), from, bytes) != sum) {
-                break;
-            }
-            apply(new DataInputStream(new ByteArrayInputStream(window.array(), from, bytes)), bytes);
-            window.position(from + bytes);
-            size += HEAD + bytes;
-        }
+        size = JournalReader.read(store, this::apply);
         store.truncate(size);
     }
 
-    /** Sees to it that the window holds so many bytes from its position on, which is that place of the file. */
-    private boolean fill(ByteBuffer window, int bytes, long at) throws IOException {
-        if (window.remaining() >= bytes) {
-            return true;
-        }
-        window.compact();
-        long from = at + window.position();
-        for (int n = 0; window.hasRemaining() && n >= 0; from += Math.max(0, n)) {
-            n = store.read(window, from);
-        }
-        window.flip();
-        return window.remaining() >= bytes;
-    }
-
     private void apply(DataInputStream in, int bytes) throws IOException {
         byte type = in.readByte();
         String id = in.readUTF();
