--- a/src/test/java/elderseam/scenario/UpgradeTest.java
+++ b/src/test/java/elderseam/scenario/UpgradeTest.java
@@ -20,6 +20,13 @@
     @TempDir
     Path folder;
 
+    /** Plays that script on a program of its own. */
+    private void plays(String script) throws Exception {
+        try (Scenario s = started()) {
+            s.run(script.replace("{to}", TO));
+        }
+    }
+
     private Scenario started() throws Exception {
         Scenario s = new Scenario(folder);
         s.fixed();
@@ -55,66 +62,60 @@
     /** What clients still send on connections to the older process is answered by the newer one; told waits and bans hold there. */
     @Test
     void whatWasLearnedGoesAlongAndKeptConnectionsAreServed() throws Exception {
-        try (Scenario s = started()) {
-            s.run("""
-                    c send POST /status-update; {to} X-Txn: a
-                    c expect 202
-                    h1 expect a
-                    h1 send 429; X-RateLimit-Wait-Ms: 60000
-                    operator ask DETACH h2 -> 200
-                    h1 wait quiet 100
-                    relay wait beside
-                    c send POST /status-update; {to} X-Txn: b
-                    c expect 202
-                    c wait closed
-                    operator ask INFO -> inflight=2; hosts_listed=2; hosts_down=2
-                    h1 wait quiet 500
-                    older close term
-                    older wait exit 0
-                    """.replace("{to}", TO));
-        }
+        plays("""
+                c send POST /status-update; {to} X-Txn: a
+                c expect 202
+                h1 expect a
+                h1 send 429; X-RateLimit-Wait-Ms: 60000
+                operator ask DETACH h2 -> 200
+                h1 wait quiet 100
+                relay wait beside
+                c send POST /status-update; {to} X-Txn: b
+                c expect 202
+                c wait closed
+                operator ask INFO -> inflight=2; hosts_listed=2; hosts_down=2
+                h1 wait quiet 500
+                older close term
+                older wait exit 0
+                """);
     }
 
     /** The older process is killed with a call out: it may have run, so a once-only message has failed, and another goes again. */
     @Test
     void aKillOfTheOlderLeavesItsCallsUnsure() throws Exception {
-        try (Scenario s = started()) {
-            s.run("""
-                    c send POST /rent-payment; {to} X-Txn: pay
-                    c expect 202
-                    h1 expect pay
-                    c send POST /status-update; {to} X-Txn: say
-                    c expect 202
-                    h1 expect say
-                    relay wait beside
-                    older close kill
-                    platform expect pay; undeliverable
-                    h1 expect say
-                    h1 send 200
-                    """.replace("{to}", TO));
-        }
+        plays("""
+                c send POST /rent-payment; {to} X-Txn: pay
+                c expect 202
+                h1 expect pay
+                c send POST /status-update; {to} X-Txn: say
+                c expect 202
+                h1 expect say
+                relay wait beside
+                older close kill
+                platform expect pay; undeliverable
+                h1 expect say
+                h1 send 200
+                """);
     }
 
     /** Twice in a row, and the first process's drain by hand goes along. */
     @Test
     void twoInARow() throws Exception {
-        try (Scenario s = started()) {
-            s.run("""
-                    c send POST /rent-payment; {to} X-Txn: pay
-                    c expect 202
-                    h1 expect pay
-                    operator ask LAMEDUCK -> 200
-                    relay wait beside
-                    operator ask PING -> 200 drain
-                    operator ask REJOIN -> 200 ready
-                    relay wait beside
-                    h1 wait quiet 200
-                    h1 send 200
-                    platform wait quiet 300
-                    d send GET /health/ready
-                    d expect 200
-                    """.replace("{to}", TO));
-        }
+        plays("""
+                c send POST /rent-payment; {to} X-Txn: pay
+                c expect 202
+                h1 expect pay
+                operator ask LAMEDUCK -> 200
+                relay wait beside
+                operator ask PING -> 200 drain
+                operator ask REJOIN -> 200 ready
+                relay wait beside
+                h1 wait quiet 200
+                h1 send 200
+                platform wait quiet 300
+                d send GET /health/ready
+                d expect 200
+                """);
     }
 
     /** One that asks, is given all and dies before it owns: the older process goes on as it was, with what it heard meanwhile. */
@@ -154,12 +155,10 @@
         Files.createDirectories(folder.resolve("state"));
         ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(folder.resolve("state/handover"))).close();
         Files.writeString(folder.resolve("state/journal.new"), "half");
-        try (Scenario s = started()) {
-            s.run("""
-                    operator ask PING -> 200
-                    relay wait beside
-                    operator ask PING -> 200
-                    """);
-        }
+        plays("""
+                operator ask PING -> 200
+                relay wait beside
+                operator ask PING -> 200
+                """);
     }
 }
--- a/src/test/java/elderseam/upgrade/HandoverModelTest.java
+++ b/src/test/java/elderseam/upgrade/HandoverModelTest.java
@@ -36,73 +36,42 @@
             oldSawEnd = newSawEnd = false;
         }
 
+        private boolean possible(Event e) {
+            return switch (e) {
+                case LOOK -> newAlive && taking.state() == Taking.State.SEEKING && newSawEnd;
+                case WARM -> newAlive && taking.state() == Taking.State.WARMING;
+                case TO_OLD -> oldAlive && (linked ? !toOld.isEmpty() : !oldSawEnd);   // what was written is read, also after
+                case TO_NEW -> newAlive && (linked ? !toNew.isEmpty() : !newSawEnd);   // the other's end; then that end is seen
+                case LOSE -> linked;
+                case KILL_OLD -> oldAlive;
+                case KILL_NEW -> newAlive;
+                case REGAIN -> oldAlive && regaining && lock.isEmpty();
+            };
+        }
+
         /** False where it can't happen now. */
         boolean happens(Event e) {
+            if (!possible(e)) {
+                return false;
+            }
             switch (e) {
-                case LOOK -> {
-                    if (!newAlive || taking.state() != Taking.State.SEEKING || !newSawEnd) {
-                        return false;
-                    }
-                    boolean link = oldAlive && giving.state() == Giving.State.OWNER && !regaining && oldSawEnd;
-                    boolean locked = !link && lock.isEmpty();
-                    lock = locked ? "new" : lock;
-                    Taking.Step step = taking.looked(link, locked);
-                    assertEquals(link ? Taking.Step.WARM : locked ? Taking.Step.RECOVER : Taking.Step.LOOK_AGAIN, step);
-                    if (link) {
-                        linked = true;
-                        toOld.clear();
-                        toNew.clear();
-                    }
-                }
+                case LOOK -> look();
                 case WARM -> {
-                    if (!newAlive || taking.state() != Taking.State.WARMING) {
-                        return false;
-                    }
                     assertEquals(Taking.Step.ASK, taking.warm());
                     toOld.add("take");
                 }
-                case TO_OLD -> {   // what was written is read, also after the other's end; then that end is seen
-                    if (!oldAlive || oldSawEnd && !linked || toOld.isEmpty() && linked) {
-                        return false;
-                    }
-                    old(toOld.poll());
-                }
-                case TO_NEW -> {
-                    if (!newAlive || newSawEnd && !linked || toNew.isEmpty() && linked) {
-                        return false;
-                    }
-                    fresh(toNew.poll());
-                }
-                case LOSE -> {
-                    if (!linked) {
-                        return false;
-                    }
-                    lose();
-                }
+                case TO_OLD -> old(toOld.poll());
+                case TO_NEW -> fresh(toNew.poll());
+                case LOSE -> lose();
                 case KILL_OLD -> {
-                    if (!oldAlive) {
-                        return false;
-                    }
                     oldAlive = false;
-                    lock = lock.equals("old") ? "" : lock;
-                    if (linked) {
-                        lose();
-                    }
+                    dies("old");
                 }
                 case KILL_NEW -> {
-                    if (!newAlive) {
-                        return false;
-                    }
                     newAlive = false;
-                    lock = lock.equals("new") ? "" : lock;
-                    if (linked) {
-                        lose();
-                    }
+                    dies("new");
                 }
                 case REGAIN -> {
-                    if (!oldAlive || !regaining || !lock.isEmpty()) {
-                        return false;
-                    }
                     lock = "old";
                     regaining = false;
                     resumed = true;
@@ -111,6 +80,25 @@
             return true;
         }
 
+        private void look() {
+            boolean link = oldAlive && giving.state() == Giving.State.OWNER && !regaining && oldSawEnd;
+            boolean locked = !link && lock.isEmpty();
+            lock = locked ? "new" : lock;
+            assertEquals(link ? Taking.Step.WARM : locked ? Taking.Step.RECOVER : Taking.Step.LOOK_AGAIN, taking.looked(link, locked));
+            if (link) {
+                linked = true;
+                toOld.clear();
+                toNew.clear();
+            }
+        }
+
+        private void dies(String who) {
+            lock = lock.equals(who) ? "" : lock;
+            if (linked) {
+                lose();
+            }
+        }
+
         private void old(String frame) {
             if (frame == null) {
                 oldSawEnd = true;
