--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -20,36 +21,13 @@
  * is what may count at any time. A message for which there is no room is not taken on.
  */
 public final class Journal implements AutoCloseable {
-    private static final int BOOKKEEPING = 512;   // kept free for the later records of each unfinished message
     private static final int MARGIN = 16 << 10;
     private static final byte[] NONE = {};
 
-    /** What the journal knows of a message. Times are wall-clock milliseconds; 0 is never. */
-    private static final class Entry {
-        final byte front;
-        final long keepMs;
-        Stream.Message message;     // while unfinished
-        int size;                   // of its record, likewise
-        int attempts;
-        long firstRanMs, outMs;     // first attempt that may have run; the one that is out
-        Answer answer;
-        boolean owed;
-        boolean joined;             // waits for the end of another that has its key
-
-        Entry(byte front, long keepMs) {
-            this.front = front;
-            this.keepMs = keepMs;
-        }
-
-        int weight() {
-            return answer == null ? size + BOOKKEEPING : 160;
-        }
-    }
-
     private final JournalStore store;
     private final long cap;
     private final Clock clock;
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, JournalEntry> entries = new LinkedHashMap<>();
     private final JournalKeys keys = new JournalKeys();
     private final Set<String> detached = new LinkedHashSet<>();
     private long detachedBytes;
@@ -76,7 +54,7 @@
     public boolean taken(Stream.Message m) {
         byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
-        if (2 * (live + record.length + key.length + BOOKKEEPING) > cap || key.length > 0 && !append(key) || !append(record)) {
+        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap || key.length > 0 && !append(key) || !append(record)) {
             return false;
         }
         keys.put(m.id(), m.same());
@@ -87,7 +65,7 @@
     /** Taken on as the same as another message, for whose end it waits; its body is not kept. False where there is no room. */
     public boolean joined(Stream.Message m) {
         byte[] record = JournalRecords.joined(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
-        if (2 * (live + record.length + BOOKKEEPING) > cap || !append(record)) {
+        if (2 * (live + record.length + JournalEntry.BOOKKEEPING) > cap || !append(record)) {
             return false;
         }
         put(m, record.length);
@@ -147,50 +125,43 @@
     }
 
     private void put(Stream.Message m, int bytes) {
-        Entry e = new Entry(m.front(), clock.toWall(m.rememberUntil()));
+        JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.message = m;
         e.size = bytes;
         put(m.id(), e);
     }
 
-    private void put(String id, Entry e) {
-        Entry old = entries.put(id, e);
+    private void put(String id, JournalEntry e) {
+        JournalEntry old = entries.put(id, e);
         live += e.weight() - (old == null ? 0 : old.weight());
     }
 
     /** An attempt is about to leave; false where that could not be written. */
     public boolean sent(String id) {
         long now = clock.wallMs();
-        return append(encode(JournalRecords.SENT, id, out -> out.writeLong(now))) && sent(entries.get(id), now);
-    }
-
-    private static boolean sent(Entry e, long wallMs) {
-        if (e != null) {
-            e.attempts++;
-            e.outMs = wallMs;
+        if (!append(encode(JournalRecords.SENT, id, out -> out.writeLong(now)))) {
+            return false;
         }
+        known(id).ifPresent(e -> e.sent(now));
         return true;
     }
 
-    public void result(String id, boolean mayHaveRun) {
-        append(encode(JournalRecords.RESULT, id, out -> out.writeBoolean(mayHaveRun)));
-        result(entries.get(id), mayHaveRun);
+    private Optional<JournalEntry> known(String id) {
+        return Optional.ofNullable(entries.get(id));
     }
 
-    private static void result(Entry e, boolean mayHaveRun) {
-        if (e != null) {
-            e.firstRanMs = mayHaveRun && e.firstRanMs == 0 ? e.outMs : e.firstRanMs;
-            e.outMs = 0;
-        }
+    public void result(String id, boolean mayHaveRun) {
+        append(encode(JournalRecords.RESULT, id, out -> out.writeBoolean(mayHaveRun)));
+        known(id).ifPresent(e -> e.result(mayHaveRun));
     }
 
     /** The end of a message; {@code owned}: its client waits to be told. */
     public void ended(Stream.Message m, Answer answer, boolean owned) {
         boolean owed = owned && (answer.kind() == Answer.Kind.REFUSED || answer.kind() == Answer.Kind.FAILED);
-        Entry e = new Entry(m.front(), clock.toWall(m.rememberUntil()));
+        JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.answer = answer;
         e.owed = owed;
-        append(endRecord(m.id(), e));
+        append(e.end(m.id()));
         putEnd(m.id(), e);
         if (entries.size() >= sweepAt) {   // not only when the file is full: ids are new for ever
             sweep();
@@ -201,22 +172,18 @@
     private void sweep() {
         long now = clock.wallMs();
         entries.entrySet().removeIf(x -> {
-            Entry e = x.getValue();
+            JournalEntry e = x.getValue();
             boolean past = e.answer != null && !e.owed && e.keepMs < now;
             if (past) {
                 keys.remove(x.getKey());
             }
             return past;
         });
-        live = entries.values().stream().mapToLong(Entry::weight).sum() + keys.weight() + detachedBytes;
-    }
-
-    private static byte[] endRecord(String id, Entry e) {
-        return JournalRecords.ended(id, e.front, e.keepMs, e.answer, e.owed);
+        live = entries.values().stream().mapToLong(JournalEntry::weight).sum() + keys.weight() + detachedBytes;
     }
 
     /** A refused message may come again, so its end is not remembered once it is told. */
-    private void putEnd(String id, Entry e) {
+    private void putEnd(String id, JournalEntry e) {
         put(id, e);
         if (e.answer.kind() == Answer.Kind.REFUSED && !e.owed) {
             forget(id);
@@ -224,20 +191,20 @@
     }
 
     private void forget(String id) {
-        Entry e = entries.remove(id);
+        JournalEntry e = entries.remove(id);
         live -= e == null ? 0 : e.weight();
         keys.remove(id);
     }
 
     public void told(String id) {
-        Entry e = entries.get(id);
+        JournalEntry e = entries.get(id);
         if (e != null && e.owed) {
             append(encode(JournalRecords.TOLD, id, out -> { }));
             toldOf(id, e);
         }
     }
 
-    private void toldOf(String id, Entry e) {
+    private void toldOf(String id, JournalEntry e) {
         e.owed = false;
         if (e.answer != null && e.answer.kind() == Answer.Kind.REFUSED) {
             forget(id);
@@ -248,7 +215,7 @@
 
     /** How a message ended, or null. */
     public Answer answer(String id) {
-        Entry e = entries.get(id);
+        JournalEntry e = entries.get(id);
         return e == null ? null : e.answer;
     }
 
@@ -268,7 +235,7 @@
         List<Stream> back = new ArrayList<>();
         entries.forEach((id, e) -> {
             if (e.answer == null && !e.joined && !out.contains(id)) {
-                result(e, e.outMs != 0);   // an attempt that was out may have run
+                e.result(e.outMs != 0);   // an attempt that was out may have run
                 back.add(back(e));
             }
         });
@@ -280,7 +247,7 @@
         return ids.stream().map(entries::get).filter(e -> e != null && e.answer == null && !e.joined).map(this::back).toList();
     }
 
-    private Stream back(Entry e) {
+    private Stream back(JournalEntry e) {
         Stream s = new Stream(e.message);
         s.attempts = e.attempts;
         s.mayHaveRun = e.firstRanMs != 0;
@@ -340,26 +307,10 @@
             for (String host : detached) {
                 at = writeAt(fresh, at, JournalRecords.detached(host, true));
             }
-            for (Map.Entry<String, Entry> x : entries.entrySet()) {
-                Entry e = x.getValue();
-                if (keys.of(x.getKey()) != null) {
-                    at = writeAt(fresh, at, JournalRecords.keyed(x.getKey(), keys.of(x.getKey())));
+            for (Map.Entry<String, JournalEntry> x : entries.entrySet()) {
+                for (byte[] record : x.getValue().records(x.getKey(), keys.of(x.getKey()), clock)) {
+                    at = writeAt(fresh, at, record);
                 }
-                if (e.answer != null) {
-                    at = writeAt(fresh, at, endRecord(x.getKey(), e));
-                    continue;
-                }
-                long deadlineMs = clock.toWall(e.message.deadline());
-                if (e.joined) {
-                    at = writeAt(fresh, at, JournalRecords.joined(e.message, deadlineMs, e.keepMs));
-                    continue;
-                }
-                at = writeAt(fresh, at, JournalRecords.taken(e.message, deadlineMs, e.keepMs));
-                at = writeAt(fresh, at, encode(JournalRecords.STATE, x.getKey(), out -> {
-                    out.writeInt(e.attempts);
-                    out.writeLong(e.firstRanMs);
-                    out.writeLong(e.outMs);
-                }));
             }
             store.replace(fresh);
         } catch (IOException e) {
@@ -382,7 +333,7 @@
     private void apply(DataInputStream in, int bytes) throws IOException {
         byte type = in.readByte();
         String id = in.readUTF();
-        Entry e = entries.get(id);
+        JournalEntry e = entries.get(id);
         switch (type) {
             case JournalRecords.KEYED -> keys.put(id, in.readUTF());
             case JournalRecords.DETACHED -> detached(id, in.readBoolean(), HEAD + bytes);
@@ -409,15 +360,21 @@
                         HEAD + bytes);
                 entries.get(id).joined = type == JournalRecords.JOINED;
             }
-            case JournalRecords.SENT -> sent(e, in.readLong());
-            case JournalRecords.RESULT -> result(e, in.readBoolean());
+            case JournalRecords.SENT -> {
+                long at = in.readLong();
+                known(id).ifPresent(x -> x.sent(at));
+            }
+            case JournalRecords.RESULT -> {
+                boolean mayHaveRun = in.readBoolean();
+                known(id).ifPresent(x -> x.result(mayHaveRun));
+            }
             case JournalRecords.STATE -> {
                 e.attempts = in.readInt();
                 e.firstRanMs = in.readLong();
                 e.outMs = in.readLong();
             }
             case JournalRecords.ENDED -> {
-                Entry end = new Entry(in.readByte(), in.readLong());
+                JournalEntry end = new JournalEntry(in.readByte(), in.readLong());
                 end.answer = new Answer(Answer.Kind.values()[in.readByte()], in.readLong());
                 end.owed = in.readBoolean();
                 putEnd(id, end);
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -134,8 +134,9 @@
         return send(host, call, connectBy, answerBy, () -> true, () -> { }, null, done);
     }
 
-    /** The same; {@code mayLeave} is asked before bytes leave, {@code written} is run once the last one has, and {@code late}, where there is one, is told of an
-     *  answer that came after the request was given up: for a second more its connection is listened to. */
+    /** The same; {@code mayLeave} is asked before bytes leave, {@code written} is run once the last one has, and {@code late},
+     *  where there is one, is told of an answer that came after the request was given up: for a second more its connection is
+     *  listened to. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, BooleanSupplier mayLeave,
                         Runnable written, Consumer<Reply> late, Consumer<Reply> done) {
         Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, written, late, done);
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -11,8 +11,10 @@
 
 /** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
 public final class Hosts {
-    private final Map<String, UpstreamHost> hosts = new HashMap<>();   // those listed
-    private final Map<String, Sender.Endpoint> entries = new HashMap<>();   // the same, as they were decoded
+    /** One that is listed. */
+    private record Listed(UpstreamHost host, Sender.Endpoint entry) {}
+
+    private final Map<String, Listed> listed = new HashMap<>();
     private final List<String> kinds, zones;
 
     public Hosts(SettingsMap settings) {
@@ -22,36 +24,30 @@
 
     /** That host; one that is not listed has no address. */
     public UpstreamHost host(String id) {
-        return hosts.getOrDefault(id, new UpstreamHost(id, ""));
+        Listed known = listed.get(id);
+        return known == null ? new UpstreamHost(id, "") : known.host;
     }
 
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
     public List<Sender.Endpoint> decode(Json servers, boolean whole) {
         if (whole) {
-            hosts.clear();
-            this.entries.clear();
+            listed.clear();
         }
         List<Sender.Endpoint> entries = new ArrayList<>();
         for (Json s : servers.items()) {
             String id = s.at("id").text("");
-            if (s.at("addr").told()) {
-                hosts.put(id, new UpstreamHost(id, s.at("addr").text("")));
-            }
             Sender.Listing listing = switch (s.at("state").text("")) {
                 case "SERVING" -> Sender.Listing.READY;
                 case "DELETED" -> Sender.Listing.GONE;
                 default -> Sender.Listing.DRAINING;
             };
-            if (listing == Sender.Listing.GONE) {
-                hosts.remove(id);
-            }
             Sender.Endpoint e = new Sender.Endpoint(id, s.at("cell").whole(0), Math.max(0, kinds.indexOf(s.at("kind").text(""))),
                     Math.max(0, zones.indexOf(s.at("zone").text(""))), listing, s.at("weight").real(1));
             entries.add(e);
             if (listing == Sender.Listing.GONE) {
-                this.entries.remove(id);
-            } else {
-                this.entries.put(id, e);
+                listed.remove(id);
+            } else {   // a change that tells no address leaves it as it was
+                listed.put(id, new Listed(s.at("addr").told() ? new UpstreamHost(id, s.at("addr").text("")) : host(id), e));
             }
         }
         return entries;
@@ -61,8 +57,9 @@
     String encoded(long version) {
         StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
         String between = "";
-        for (Sender.Endpoint e : entries.values()) {
-            text.append(between).append("{\"id\":").append(Json.quoted(e.address())).append(",\"addr\":").append(Json.quoted(host(e.address()).address()))
+        for (Listed l : listed.values()) {
+            Sender.Endpoint e = l.entry;
+            text.append(between).append("{\"id\":").append(Json.quoted(e.address())).append(",\"addr\":").append(Json.quoted(l.host.address()))
                     .append(",\"zone\":").append(Json.quoted(zones.get(e.zone()))).append(",\"kind\":").append(Json.quoted(kinds.get(e.kind())))
                     .append(",\"cell\":").append(e.destination()).append(",\"state\":\"")
                     .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING").append("\",\"weight\":").append(e.weight())
