--- a/src/test/java/elderseam/deploy/ServeScriptTest.java
+++ b/src/test/java/elderseam/deploy/ServeScriptTest.java
@@ -19,8 +19,9 @@
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder b = new ProcessBuilder("sh", "deploy/serve.sh").redirectErrorStream(true);
-        b.environment().putAll(Map.of("PATH", folder + ":" + System.getenv("PATH"), "RELAY_CONFIG", file.toString()));
+        // java alone is on the path: where the fleet's days are played no other program may be started
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "deploy/serve.sh").redirectErrorStream(true);
+        b.environment().putAll(Map.of("PATH", folder.toString(), "RELAY_CONFIG", file.toString()));
         return new String(b.start().getInputStream().readAllBytes());
     }
 
@@ -38,6 +39,14 @@
         tells("{}", "64m", "12m");
     }
 
+    /** A command substitution forks a subshell, which the fleet's days refuse: the script has to end in one process. */
+    @Test
+    void itForksNothing() throws Exception {
+        String script = Files.readString(Path.of("deploy/serve.sh"));
+        assertTrue(!script.matches("(?s).*\\$\\((?!\\().*") && !script.contains("`"), "a command substitution in deploy/serve.sh");
+        assertTrue(script.strip().lines().filter(l -> l.startsWith("exec java ")).count() == 1, "no exec java in deploy/serve.sh");
+    }
+
     /** An archive that is not there, or is none, must cost no start and no line where the program's are expected. */
     @Test
     void withoutAnArchiveItStartsAllTheSame() throws Exception {
