--- a/src/main/java/elderseam/core/Attempts.java
+++ b/src/main/java/elderseam/core/Attempts.java
@@ -73,8 +73,8 @@
         if (journal.sent(s.id())) {
             s.out = upstreams.get(s.message.front()).send(s.message, host,
                     Math.min(by, start + settings.connections().timeoutNs()), by, leg);
-        } else {   // unrecorded, it must not leave
-            loop.at(start, () -> leg.ended(End.unanswered(Progress.NOT_CONNECTED, Status.BROKEN)));
+        } else {   // unrecorded, it must not leave; held back here, it tells the module nothing of the host
+            loop.at(start, () -> leg.ended(End.unanswered(Progress.NOT_CONNECTED, Status.HELD)));
         }
     }
 
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -9,6 +9,9 @@
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
 import elderseam.module.Sender;
+import elderseam.emulator.MemoryStore;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -40,10 +43,14 @@
 
     /** One more on the same folder, as the next process has it. */
     private Relay another() throws Exception {
+        return another(new Journal(folder, 1_000_000, clock));
+    }
+
+    private Relay another(Journal journal) {
         Sender.Settings settings = new SettingsMap(Map.of("discovery", "ask", "extra.callSlots", "40", "limits.mostHeld", "64",
                 "limits.maxAttempts", "3", "services.count", "1", "services.0.effect", "once", "services.0.targetNs",
                 "2000000000", "services.0.giveUpNs", "9000000000")).settings();
-        Relay relay = new Relay(settings, 1, new Journal(folder, 1_000_000, clock), clock, new Loop() {
+        Relay relay = new Relay(settings, 1, journal, clock, new Loop() {
             @Override
             public void at(long time, Runnable task) {
                 (time <= clock.now() ? soon : timers).add(task);
@@ -137,6 +144,62 @@
         assertEquals(0, relay.held() + relay.out());
     }
 
+    /**
+     * A journal that can't record an attempt holds it back here: the host was never asked, so it must not be blamed. It was
+     * counted as a failed connection, which tripped the breaker of a sound host on a full disk.
+     */
+    @Test
+    void anAttemptTheJournalCouldNotRecordBlamesNoHost() throws Exception {
+        int[] writes = new int[1];   // so many more succeed
+        MemoryStore memory = new MemoryStore();
+        relay = another(new Journal(new JournalStore() {
+            public long length() {
+                return memory.length();
+            }
+
+            public int read(ByteBuffer to, long at) {
+                return memory.read(to, at);
+            }
+
+            public void write(byte[] bytes, long at) throws IOException {
+                if (writes[0]-- <= 0) {
+                    throw new IOException("no space left on device");
+                }
+                memory.write(bytes, at);
+            }
+
+            public void truncate(long length) {
+                memory.truncate(length);
+            }
+
+            public JournalStore fresh() {
+                return memory.fresh();
+            }
+
+            public void replace(JournalStore fresh) {
+                memory.replace(fresh);
+            }
+
+            public void discard() {
+                memory.discard();
+            }
+
+            public void close() {
+            }
+        }, 1_000_000, clock));
+        writes[0] = 1_000;
+        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        for (String id : List.of("a", "b", "c", "d", "e")) {
+            writes[0] = 1;   // its record, not that of its attempt
+            assertNull(take(id));
+            settle();
+        }
+        assertEquals(0, out.size(), "nothing unrecorded left");
+        int[] failed = {-1};
+        relay.breakers((destination, b) -> failed[0] = b.failed());
+        assertEquals(0, failed[0], "the host was never asked");
+    }
+
     /** While a wait is told of, an attempt decided before it must not leave: its connection may have taken seconds. */
     @Test
     void aWaitHoldsBackWhatWasDecidedBeforeIt() {
