--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -69,8 +69,6 @@
     private static final long MEASURE_NS = 100_000_000L;      // how often the network's pace is taken
     private static final long RETRY_NS = 100_000_000L;        // first back-off after a failure; doubles
     private static final long SUBSCRIBE_NS = 500_000_000L;    // first back-off after a failed subscription
-    private static final double GATHER = 0.15, GATHER_FULL = 0.3;   // share of the aim spent on filling a
-                                                              // batch: while slots run short, a limit binds
     private static final double PRICED = 50, FAR = 0.03;      // calls a price of 1 outweighs; another zone
     private static final long KEEP_NS = 30_000_000_000L;      // fewer idle connections after one did harm
     private static final double CLOSING = 3;                  // usual times left before the end, or no call
@@ -943,9 +941,6 @@
             if (!closed && !half) {
                 continue;
             }
-            if (closed && gathers(d, now)) {
-                continue;
-            }
             Held trial = null;
             int share = Math.min(d.kind.batch(), d.waiting.size());   // messages that would share the slot
             for (Held m : d.waiting) {
@@ -982,26 +977,6 @@
         }
     }
 
-    /**
-     * A call there takes a batch: wait for more while slots run short and one is out, longer while its
-     * limit binds. Costs that part of an aim at most.
-     */
-    private boolean gathers(Destination d, long now) {
-        boolean limited = d.circuits.stream().anyMatch(c -> now - c.lastFull < BUCKETS * BUCKET_NS);
-        if (d.kind.batch() == 1 || d.waiting.size() >= d.kind.batch()
-                || callsOut * 2 < settings.slots() && !limited) {
-            return false;
-        }
-        double gather = limited ? GATHER_FULL : GATHER;
-        boolean waits = limited || d.circuits.stream().anyMatch(c -> !c.out.isEmpty());
-        for (Held m : d.waiting) {
-            long age = now - m.born;
-            waits &= age < gather * m.cls.aimNs() || age > m.cls.aimNs();
-            due(m.born + (long) (gather * m.cls.aimNs()));
-        }
-        return waits;
-    }
-
     private boolean joins(Target t) {
         Call b = t.batch;
         return b != null && b.turn == turn && b.messages.size() < t.dest.kind.batch() && b.circuit.trial != b;
