--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -200,6 +200,18 @@
         assertEquals(0, failed[0], "the host was never asked");
     }
 
+    /** Journal before the 202: where it has no room for a message, the message is refused with a time to come back, never sent. */
+    @Test
+    void noRoomInTheJournalRefusesAtOnce() throws Exception {
+        relay = another(new Journal(Files.createDirectory(folder.resolve("small")), 1_000, clock));
+        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        Answer answer = take("a");
+        assertEquals(Answer.Kind.REFUSED, answer.kind());
+        assertTrue(answer.againNs() > 0, "it says when to come back");
+        assertEquals(0, out.size());
+        assertEquals(0, relay.held());
+    }
+
     /** While a wait is told of, an attempt decided before it must not leave: its connection may have taken seconds. */
     @Test
     void aWaitHoldsBackWhatWasDecidedBeforeIt() {
