--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -212,6 +212,18 @@
         assertEquals(0, relay.held());
     }
 
+    /** Written, then timed out, broken or given up: a once-only message may have run, so it fails and never goes again. */
+    @Test
+    void aWrittenAttemptWithoutAnAnswerMayHaveRun() {
+        List<Status> ways = List.of(Status.TIMED_OUT, Status.BROKEN, Status.ABANDONED);
+        for (Status way : ways) {
+            take(way.name());
+            out.get(out.size() - 1).accept(End.unanswered(Progress.WRITTEN, way));
+        }
+        assertEquals(ways.size(), out.size(), "none was sent again");
+        assertEquals(ways.stream().map(w -> w + " FAILED").toList(), ended);
+    }
+
     /** While a wait is told of, an attempt decided before it must not leave: its connection may have taken seconds. */
     @Test
     void aWaitHoldsBackWhatWasDecidedBeforeIt() {
--- a/src/test/java/elderseam/module/BreakerTest.java
+++ b/src/test/java/elderseam/module/BreakerTest.java
@@ -176,6 +176,20 @@
         assertEquals(1, rig.out().size());
     }
 
+    /** isolates: once failing, a destination holds at most half of the slots, here a quarter, also while it hangs. */
+    @Test
+    void aFailingDestinationHoldsAtMostHalfOfTheSlots() {
+        Rig r = Rig.simple(16);
+        for (int i = 0; i < 2; i++) {
+            r.answer(r.submit(0, -1, 1), Result.ERROR);
+        }
+        for (int i = 0; i < 20; i++) {
+            r.submit(0, -1, 1);
+        }
+        assertTrue(r.out().size() <= 8, r.out().size() + " of 16 slots at a failing destination");
+        assertTrue(r.out().size() >= 1, "it is still tried");
+    }
+
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
     void aCallWithMoreMessagesGoesFirst() {
