A keyed message's call that found its connection late does not begin after its window

The scope is `all`, so it was the window (7.5 s from the first send that may have run).

Checked: Brain decides a repeat only while now < keyUntil (maySend), keyUntil counted from the module's own start of that call, which is no later than its bytes. The last look before bytes leave (Leg.mayLeave -> Brain.mayCall) asked only whether the host was ready and no wait was told; a call decided 7.4 s in whose connection took longer (a new one, on a busy machine) could still begin after the window.

At fault: Brain.mayCall. It takes the message's id now and asks maySend as well; an id it no longer holds may not begin.

--- a/src/main/java/elderseam/core/Attempts.java
+++ b/src/main/java/elderseam/core/Attempts.java
@@ -108,7 +108,7 @@
 
         @Override
         public boolean mayLeave() {
-            return !relay.handover().passedOn() && facade.mayCall(clock.now(), host);
+            return !relay.handover().passedOn() && facade.mayCall(clock.now(), stream.id(), host);
         }
 
         @Override
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -107,10 +107,10 @@
         brain.unseen(now, ns);
     }
 
-    /** Whether a call to that host may still begin. */
-    boolean mayCall(long time, String host) {
+    /** Whether a call of that stream to that host may still begin. */
+    boolean mayCall(long time, String id, String host) {
         now = Math.max(now, time);
-        return brain.mayCall(now, host);
+        return brain.mayCall(now, id, host);
     }
 
     /** How each destination stands. */
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -656,9 +656,11 @@
     }
 
     @Override
-    public boolean mayCall(long now, String endpoint) {
+    public boolean mayCall(long now, String id, String endpoint) {
         Target t = targets.get(endpoint);
-        return t != null && t.ready && now >= t.circuit.waitUntil;
+        // a key's window may have ended since the call was decided, its connection taking long
+        Held m = held.get(id);
+        return t != null && t.ready && now >= t.circuit.waitUntil && m != null && maySend(m, now, t.zone);
     }
 
     @Override
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -195,8 +195,9 @@
         /** The host did not look at the network for so long: no call was silent in that time. */
         void unseen(long now, long ns);
 
-        /** Whether a call there, decided earlier, may begin now: it is listed as ready and no told wait lasts. */
-        boolean mayCall(long now, String endpoint);
+        /** Whether a call of that message there, decided earlier, may begin now: it is listed as ready, no told wait lasts, and
+         *  where an attempt may have run the message may still go there. */
+        boolean mayCall(long now, String id, String endpoint);
 
         /** How every destination that is listed stands now. */
         void breakers(long now, BiConsumer<Long, Breaker> each);
--- a/src/test/java/elderseam/module/BreakerTest.java
+++ b/src/test/java/elderseam/module/BreakerTest.java
@@ -190,6 +190,23 @@
         assertTrue(r.out().size() >= 1, "it is still tried");
     }
 
+    /**
+     * A keyed message goes again only within its window. A call decided just before the window ends may find its connection
+     * late: the last look before its bytes leave says no then (a job-order was sent outside its window on rate+silent+leave).
+     */
+    @Test
+    void aCallDecidedInTheKeysWindowDoesNotBeginAfterIt() {
+        Rig r = Rig.simple(8);
+        String id = r.submit(1, -1, 1);
+        r.answer(id, Result.TIMEOUT);   // it may have run: 6 s from its start
+        r.pass(300 * MS);
+        assertTrue(r.sent(id) && r.out().size() == 1, "tried again within the window");
+        assertTrue(r.brain.mayCall(r.now, id, "a:1"));
+        r.pass(5_800 * MS);
+        assertFalse(r.brain.mayCall(r.now, id, "a:1"), "the window is over");
+        assertFalse(r.brain.mayCall(r.now, "unknown", "a:1"), "nothing is held under that id");
+    }
+
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
     void aCallWithMoreMessagesGoesFirst() {
--- a/src/test/java/elderseam/module/SuccessionTest.java
+++ b/src/test/java/elderseam/module/SuccessionTest.java
@@ -68,7 +68,7 @@
         rig.brain.turnEnd(rig.now);
         Rig heir = heir(rig);
         assertEquals(new Sender.Listed(1, 1), heir.brain.listed(heir.now));
-        assertFalse(heir.brain.mayCall(heir.now, "a:1"));
+        assertFalse(heir.brain.mayCall(heir.now, "none", "a:1"));
         String next = heir.submit(0, -1, 1);   // the rig asserts that the wait is heeded
         heir.pass(4 * Rig.S);
         assertFalse(heir.sent(next));
