Test: a restart never sends a once-only message whose attempt may have run

Mutation check: Brain.restored forgetting that an attempt may have run (maybeRan = false) was caught by no test of module, core, upgrade or sim; the message was sent a second time after the restart. RelayTest.aRestartSendsNoOnceOnlyMessageThatMayHaveRun fails on it (2 sends) and passes on the code as it is.

--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -224,6 +224,19 @@
         assertEquals(ways.stream().map(w -> w + " FAILED").toList(), ended);
     }
 
+    /** An attempt that was out when the process ended may have run: the next process fails a once-only message, never sends it. */
+    @Test
+    void aRestartSendsNoOnceOnlyMessageThatMayHaveRun() throws Exception {
+        take("a");
+        assertEquals(1, out.size());
+        Relay next = another();
+        next.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        next.recover(() -> 0, () -> { });
+        settle();
+        assertEquals(1, out.size(), "not sent again");
+        assertEquals(List.of("a FAILED"), ended);
+    }
+
     /** While a wait is told of, an attempt decided before it must not leave: its connection may have taken seconds. */
     @Test
     void aWaitHoldsBackWhatWasDecidedBeforeIt() {
