--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -1,6 +1,9 @@
 package elderseam;
 
 import elderseam.settings.Keys;
+import elderseam.wiring.Daemon;
+import elderseam.wiring.Rehearsals;
+import elderseam.wiring.Training;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
--- a/src/main/java/elderseam/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.cloudevents.EventConfig;
 import elderseam.cloudevents.EventFront;
@@ -42,7 +42,7 @@
 import java.util.function.Consumer;
 
 /** One dispatcher, in the order of its life: start, recovery, readiness, reload, drain. */
-final class Daemon implements Succession.Estate {
+public final class Daemon implements Succession.Estate {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
     private static final long KEPT_NS = 700 * Clock.MS, AGAIN_NS = 50 * Clock.MS;   // idle clients in a drain: from when, how often
@@ -88,7 +88,7 @@
     }
 
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
-    static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
+    public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         Clock clock = new Clock();
         long born = clock.now();
         Lean.start();
--- a/src/main/java/elderseam/EventsWiring.java
+++ b/src/main/java/elderseam/wiring/EventsWiring.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.acme.Certificates;
 import elderseam.cloudevents.EventConfig;
--- a/src/main/java/elderseam/GossipWiring.java
+++ b/src/main/java/elderseam/wiring/GossipWiring.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.core.Clock;
 import elderseam.core.Relay;
--- a/src/main/java/elderseam/OperatorFile.java
+++ b/src/main/java/elderseam/wiring/OperatorFile.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.cloudevents.EventConfig;
 import elderseam.settings.Keys;
--- a/src/main/java/elderseam/Rehearsals.java
+++ b/src/main/java/elderseam/wiring/Rehearsals.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.acme.Authority;
 import elderseam.core.Clock;
@@ -9,11 +9,11 @@
 import java.net.InetSocketAddress;
 
 /** What is started for rehearsals alone; apart, so that a dispatcher loads none of it. */
-final class Rehearsals {
+public final class Rehearsals {
     private Rehearsals() {}
 
     /** The same decisions on the simulator's wire. */
-    static void simulate() throws IOException {
+    public static void simulate() throws IOException {
         try {
             new Host(System.in, System.out).run();
         } catch (WireException e) {
@@ -23,7 +23,7 @@
     }
 
     /** Starts the stand-in authority and tells where its directory is. */
-    static void authority(InetSocketAddress address, int challengePort) throws IOException {
+    public static void authority(InetSocketAddress address, int challengePort) throws IOException {
         String directory = new Authority(new Io(new Clock()), address, challengePort).directory();
         System.err.println("directory at " + directory);
     }
--- a/src/main/java/elderseam/Reload.java
+++ b/src/main/java/elderseam/wiring/Reload.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
--- a/src/main/java/elderseam/RulesWiring.java
+++ b/src/main/java/elderseam/wiring/RulesWiring.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.core.Answer;
 import elderseam.core.Clock;
--- a/src/main/java/elderseam/Standby.java
+++ b/src/main/java/elderseam/wiring/Standby.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.core.Journal;
 import elderseam.core.Lifecycle;
--- a/src/main/java/elderseam/Training.java
+++ b/src/main/java/elderseam/wiring/Training.java
@@ -1,4 +1,4 @@
-package elderseam;
+package elderseam.wiring;
 
 import elderseam.core.Clock;
 import elderseam.http.Call;
@@ -24,7 +24,7 @@
  * discovery, the place for notices and one upstream host, all on the loopback, it delivers, fails, refuses, waits and
  * drains; it ends by itself.
  */
-final class Training {
+public final class Training {
     private static final int MESSAGES = 120;
     private static final long PATIENCE_NS = 10_000 * Clock.MS;
     private static final String SETTINGS = """
@@ -43,7 +43,7 @@
 
     private Training() throws IOException {}
 
-    static void run() throws Exception {
+    public static void run() throws Exception {
         new Training().live();
     }
 
--- a/src/test/java/elderseam/scenario/LeanTest.java
+++ b/src/test/java/elderseam/scenario/LeanTest.java
@@ -14,7 +14,7 @@
 class LeanTest {
     private static final List<String> UNUSED = List.of("io.cloudevents.", "com.fasterxml.jackson.databind.", "org.bouncycastle.",
             "org.shredzone.", "org.jose4j.", "elderseam.acme.", "elderseam.cloudevents.EventFront", "elderseam.cloudevents.EventCodec",
-            "elderseam.EventsWiring", "elderseam.GossipWiring", "elderseam.gossip.", "elderseam.rules.", "elderseam.emulator.", "elderseam.lab.", "org.apache.commons.rng.", "org.HdrHistogram.", "org.knowm.", "elderseam.RulesWiring", "elderseam.http.RequestFacts", "elderseam.http.HeaderView", "com.google.re2j.", "com.dynatrace.", "inet.ipaddr.", "elderseam.cli.", "picocli.", "elderseam.Training", "elderseam.Rehearsals", "elderseam.sim.",
+            "elderseam.wiring.EventsWiring", "elderseam.wiring.GossipWiring", "elderseam.gossip.", "elderseam.rules.", "elderseam.emulator.", "elderseam.lab.", "org.apache.commons.rng.", "org.HdrHistogram.", "org.knowm.", "elderseam.wiring.RulesWiring", "elderseam.http.RequestFacts", "elderseam.http.HeaderView", "com.google.re2j.", "com.dynatrace.", "inet.ipaddr.", "elderseam.cli.", "picocli.", "elderseam.wiring.Training", "elderseam.wiring.Rehearsals", "elderseam.sim.",
             "com.sun.jmx.mbeanserver.JmxMBeanServer");
 
     @TempDir
@@ -44,6 +44,6 @@
     @Test
     void theSecondFrontAndItsLibrariesAreNotLoadedWhileItIsOff() throws Exception {
         assertEquals(List.of(), loaded(false));
-        assertTrue(loaded(true).contains("elderseam.EventsWiring"), "the log shows what is on");
+        assertTrue(loaded(true).contains("elderseam.wiring.EventsWiring"), "the log shows what is on");
     }
 }
