--- /dev/null
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -0,0 +1,129 @@
+package elderseam.fleet.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The replicated state of all leases: one holder a name at a time, and for each name a fencing token that only rises.
+ *
+ * <p>Every member applies the same commands in the order of the consensus log, each with the time the leader stamped on it
+ * (milliseconds of the leader's wall clock). The table's own time is the greatest stamp seen so far, so a new leader whose
+ * clock is behind never makes a lease end earlier than it did; one whose clock is ahead is bounded by the stated skew,
+ * which the holder's rule ({@link Tenure}) takes off its own term. Nothing here reads a clock or does I/O, so the table is
+ * deterministic: the same log gives the same table on every member and after every restart.
+ *
+ * <p>Not thread-safe: the engine applies one command at a time.
+ */
+public final class LeaseTable {
+    /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by renew and release. */
+    public enum Op { ACQUIRE, RENEW, RELEASE }
+
+    /** One command, as stored in the log: the leader's stamp {@code atMs} is set when the leader takes it in. */
+    public record Command(Op op, String name, String holder, long token, long ttlMs, long atMs) {
+        public Command {
+            if (name.isEmpty() || holder.isEmpty()) {
+                throw new IllegalArgumentException("a lease command needs a name and a holder");
+            }
+            if (op != Op.RELEASE && (ttlMs <= 0 || ttlMs > MOST_TTL_MS)) {
+                throw new IllegalArgumentException("ttl_ms " + ttlMs + ": from 1 to " + MOST_TTL_MS + " allowed");
+            }
+        }
+
+        Command stamped(long at) {
+            return new Command(op, name, holder, token, ttlMs, at);
+        }
+    }
+
+    /**
+     * What a command came to. {@code granted}: the holder has the lease with {@code token} until {@code untilMs} of the
+     * table's time. Otherwise {@code holder} is who has it and {@code againMs} how long until it may be free (0 where it
+     * was the holder's own to release, or it was not held).
+     */
+    public record Outcome(boolean granted, String holder, long token, long untilMs, long againMs) {
+        static Outcome refused(Lease held, long now) {
+            return new Outcome(false, held.holder(), held.token(), held.untilMs(), Math.max(0, held.untilMs() - now));
+        }
+    }
+
+    /** A name's lease: who has it, by which token, until when in the table's time. */
+    public record Lease(String holder, long token, long untilMs) {}
+
+    /** A lease longer than a minute is a lease that outlives its holder's failure by too long to be of use. */
+    public static final long MOST_TTL_MS = 60_000;
+
+    private final Map<String, Lease> leases = new HashMap<>();
+    private final Map<String, Long> tokens = new HashMap<>();
+    private long now = Long.MIN_VALUE;
+
+    /** Applies one command in log order; its effect depends on the table and the command alone. */
+    public Outcome apply(Command c) {
+        now = Math.max(now, c.atMs());
+        Lease held = leases.get(c.name());
+        boolean live = held != null && held.untilMs() > now;
+        boolean own = live && held.holder().equals(c.holder());
+        switch (c.op()) {
+            case ACQUIRE -> {
+                if (live && !own) {
+                    return Outcome.refused(held, now);
+                }
+                // The holder that asks again keeps its token: a second grant of a new token to the same holder would fence
+                // off its own acts that are still under way.
+                long token = own ? held.token() : tokens.merge(c.name(), 1L, Long::sum);
+                return grant(c.name(), c.holder(), token, c.ttlMs());
+            }
+            case RENEW -> {
+                if (!own || held.token() != c.token()) {
+                    return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
+                }
+                return grant(c.name(), c.holder(), held.token(), c.ttlMs());
+            }
+            case RELEASE -> {
+                if (own && held.token() == c.token()) {
+                    leases.remove(c.name());
+                    return new Outcome(true, "", held.token(), now, 0);
+                }
+                return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
+            }
+            default -> throw new AssertionError(c.op());
+        }
+    }
+
+    private Outcome grant(String name, String holder, long token, long ttlMs) {
+        Lease lease = new Lease(holder, token, now + ttlMs);
+        leases.put(name, lease);
+        return new Outcome(true, holder, token, lease.untilMs(), 0);
+    }
+
+    private long lastToken(String name) {
+        return tokens.getOrDefault(name, 0L);
+    }
+
+    /** The lease of a name as the table stands, or null where none is live at the table's time. */
+    public Lease holder(String name) {
+        Lease held = leases.get(name);
+        return held != null && held.untilMs() > now ? held : null;
+    }
+
+    /** The table's time: the greatest stamp applied, in milliseconds of the leaders' wall clocks. */
+    public long now() {
+        return now;
+    }
+
+    /** The state to keep in a snapshot: every lease and every name's last token. */
+    public Map<String, Lease> leases() {
+        return Map.copyOf(leases);
+    }
+
+    public Map<String, Long> tokens() {
+        return Map.copyOf(tokens);
+    }
+
+    /** Takes back a snapshot's state; the table's time is that of the snapshot. */
+    public void restore(Map<String, Lease> saved, Map<String, Long> savedTokens, long at) {
+        leases.clear();
+        leases.putAll(saved);
+        tokens.clear();
+        tokens.putAll(savedTokens);
+        now = at;
+    }
+}
