--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -157,15 +157,6 @@
         }
     }
 
-    /** Whether this member leads the group now: for figures and the rig's history, never for a decision. */
-    public boolean leads() {
-        try {
-            return server.getDivision(server.getGroupIds().iterator().next()).getInfo().isLeader();
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     @Override
     public void close() throws IOException {
         asker.shutdownNow();
