--- a/src/test/java/elderseam/scenario/EventsTest.java
+++ b/src/test/java/elderseam/scenario/EventsTest.java
@@ -93,9 +93,8 @@
     /** One event of a batch is refused full until its time is up, the others are delivered; each has its answer. */
     @Test
     void aBatchAnswersForEachEvent() throws Exception {
-        String late = java.time.Instant.now().plusMillis(8_000).toString();
-        plays("e send {batch} [" + event("a", 2) + "," + event("b", 1).replace("\"data\"", "\"deadline\":\"" + late
-                + "\",\"data\"") + "," + event("c", 2).replace("\"type\"", "\"typo\"") + "," + event("a", 2) + "]" + """
+        plays("e send {batch} [" + event("a", 2) + "," + event("b", 1).replace("\"data\"",
+                "\"deadline\":\"{in 8000}\",\"data\"") + "," + event("c", 2).replace("\"type\"", "\"typo\"") + "," + event("a", 2) + "]" + """
 
                 h1 expect ce-id: b
                 h1 send 429; Retry-After: 9
@@ -183,9 +182,8 @@
      */
     @Test
     void aKeyedEventThatMayHaveRunIsNotRefused() throws Exception {
-        String late = java.time.Instant.now().plusMillis(3_500).toString();
         plays("""
-                e send POST /events; ce-specversion: 1.0; ce-type: job-order; ce-source: /a; ce-id: 1; ce-destination: 1; ce-deadline: {late} | x
+                e send POST /events; ce-specversion: 1.0; ce-type: job-order; ce-source: /a; ce-id: 1; ce-destination: 1; ce-deadline: {in 3500} | x
                 h1 expect ce-id: 1
                 h1 send 500
                 h1 expect ce-id: 1
@@ -193,7 +191,7 @@
                 e expect 502; "status":"failed"
                 e send POST /events; ce-specversion: 1.0; ce-type: job-order; ce-source: /a; ce-id: 1; ce-destination: 1 | x
                 e expect 502; "status":"failed"
-                """.replace("{late}", late));
+                """);
     }
 
     /** Common clients ask before they send a long body, and wait until they are told to go on. */
--- a/src/test/java/elderseam/scenario/RulesTest.java
+++ b/src/test/java/elderseam/scenario/RulesTest.java
@@ -88,7 +88,7 @@
     @Test
     void aSafeCopyThatMayHaveRunIsNotRefused() throws Exception {
         plays(LEASE, """
-                e send {event} ce-type: status-update; ce-id: one; ce-deadline: {late} | {rent}
+                e send {event} ce-type: status-update; ce-id: one; ce-deadline: {in 4500} | {rent}
                 h1 expect ce-id: one
                 h1 send 500
                 h1 expect ce-id: one
@@ -97,20 +97,20 @@
                 e send {event} ce-type: rent-payment; ce-id: two | {rent}
                 e expect 502; failed
                 h1 wait quiet 200
-                """.replace("{late}", java.time.Instant.now().plusMillis(4_500).toString()));
+                """);
     }
 
     /** A first that is refused takes its copies with it, though they had more time: none of them ran, and each may come again. */
     @Test
     void copiesOfARefusedFirstAreRefused() throws Exception {
         plays(LEASE, """
-                e1 send {event} ce-type: rent-payment; ce-id: one; ce-deadline: {late} | {rent}
+                e1 send {event} ce-type: rent-payment; ce-id: one; ce-deadline: {in 3500} | {rent}
                 h1 expect ce-id: one
                 h1 send 429; Retry-After: 9
                 e2 send {event} ce-type: rent-payment; ce-id: two | {rent}
                 e1 expect 503; refused
                 e2 expect 503; refused
-                """.replace("{late}", java.time.Instant.now().plusMillis(3_500).toString()));
+                """);
     }
 
     /** What was refused took no effect, and may come again under the same key. */
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /**
@@ -34,7 +36,7 @@
  * operator   calls on the second address
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
- * send       a client: METHOD PATH; Header: value; ... | body ({64K}: a long one)    a host: CODE; Header: value | body
+ * send       a client: METHOD PATH; Header: value; ... | body ({64K}: a long one; {in N}: the instant N ms on)    a host: CODE; Header: value | body
  * raw        a client or host: these bytes, \r\n in words; none: a client only connects
  *            platform: a change of the list, answering the watch, or fail, or mute (no answer)
  * expect     the next message there holds each of these parts (set apart by ;); platform: a notice
@@ -353,7 +355,10 @@
 
     private void client(String name, String verb, String words) throws Exception {
         switch (verb) {
-            case "send" -> link(name).write(request(words));
+            case "send" -> {
+                Wire.Link link = link(name);   // the front is ready first: an instant counts from the sending
+                link.write(request(instants(words)));
+            }
             case "raw" -> link(name).write(bytes(words));
             case "expect" -> holds(link(name).next(), words);
             case "close" -> links.remove(name).reset();
@@ -362,6 +367,12 @@
         }
     }
 
+    /** {in N}: the instant N ms from now. */
+    private static String instants(String words) {
+        return Pattern.compile("\\{in (\\d+)}").matcher(words)
+                .replaceAll(m -> Instant.now().plusMillis(Long.parseLong(m.group(1))).toString());
+    }
+
     private Wire.Link link(String name) throws IOException {
         if (!links.containsKey(name)) {
             String[] at = front(name.charAt(0) == 'e' ? 'e' : 'c').split(":");
