--- a/src/main/java/elderseam/fleet/lease/LeaseCodec.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseCodec.java
@@ -28,6 +28,11 @@
         }
     }
 
+    /** A snapshot's bytes, or an IOException where they are none. */
+    static LeaseTable.Image image(byte[] bytes) throws IOException {
+        return JSON.readValue(bytes, LeaseTable.Image.class);
+    }
+
     static LeaseTable.Outcome outcome(ByteString bytes) throws IOException {
         return JSON.readValue(bytes.toByteArray(), LeaseTable.Outcome.class);
     }
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.lease;
 
+import elderseam.http.Lean;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,6 +12,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClient;
@@ -30,12 +32,12 @@
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
 
 /**
  * One member of a fleet's lease group: a Ratis server over TCP (Netty) with its log in the member's folder, and a client
- * that asks the group. Members are named and addressed in {@code peers} (name to host:port, the same map on every member);
- * the group's id comes from the fleet's name, so members agree on it without a word.
+ * that asks the group. The group's id comes from the fleet's name, so members agree on it without a word.
  *
  * <p>Errors: {@link IOException} where the folder or port can't be used. A request that the group could not decide (no
  * majority, no leader in time) completes exceptionally; the caller acts as if refused, and its tenure does not begin.
@@ -44,19 +46,21 @@
     /** The engine tells every setting it reads at INFO; held here so that the level stays (loggers are weakly kept). */
     private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
 
+    private static final long SNAPSHOT_EVERY = 2_000;   // commands
+
     static {
         ENGINE.setLevel(java.util.logging.Level.WARNING);
     }
 
     private final RaftServer server;
     private final RaftClient client;
-    private final String self;
+    private final String holder;
     private final java.util.concurrent.ExecutorService asker;
 
-    private LeaseGroup(RaftServer server, RaftClient client, String self) {
+    private LeaseGroup(RaftServer server, RaftClient client, String self, String holder) {
         this.server = server;
         this.client = client;
-        this.self = self;
+        this.holder = holder;
         this.asker = java.util.concurrent.Executors.newSingleThreadExecutor(r -> {
             Thread t = new Thread(r, "lease-asker-" + self);
             t.setDaemon(true);
@@ -65,33 +69,63 @@
     }
 
     /**
-     * Starts the member {@code self} of {@code peers} in {@code folder} (made if missing; a folder that holds a log is taken
-     * back). {@code electionMs}: the least time a follower waits for its leader before it stands; the most is twice that.
+     * What a member needs to begin. {@code peers}: the group's members as the others reach them, name to address, the same on
+     * every founding member; one that joins a group that is there already is not among them, and is taken in by {@link
+     * #members}. {@code listen}: where this one listens, which may stand behind another address. {@code folder}: made if
+     * missing; one that holds a log is taken back, and the log's word on the members outranks {@code peers}. {@code
+     * electionMs}: the least time a follower waits for its leader before it stands; the most is twice that. {@code life}: new
+     * with each start of the process, so that a lease of the process before it is another holder's. {@code clock}: monotonic,
+     * in nanoseconds; {@code leader}: told who leads.
      */
-    public static LeaseGroup start(String fleet, String self, Map<String, InetSocketAddress> peers, Path folder,
-                                   long electionMs, LongSupplier wallMs) throws IOException {
-        InetSocketAddress own = peers.get(self);
-        if (own == null) {
-            throw new IllegalArgumentException("lease group: " + self + " is not among the peers " + peers.keySet());
-        }
-        RaftGroup group = group(fleet, peers);
-        RaftProperties properties = properties(electionMs);
-        NettyConfigKeys.Server.setPort(properties, own.getPort());
-        NettyConfigKeys.Server.setHost(properties, own.getHostString());
-        RaftServerConfigKeys.setStorageDir(properties, List.of(folder.toFile()));
-        boolean kept = Files.isDirectory(folder) && Files.list(folder).findAny().isPresent();
-        RaftServer server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(self)).setGroup(group)
-                .setStateMachine(new LeaseMachine(wallMs)).setProperties(properties)
+    public record Opening(String fleet, String self, InetSocketAddress listen, Map<String, InetSocketAddress> peers, Path folder, long electionMs,
+                          String life, LongSupplier clock, Consumer<String> leader) {}
+
+    public static LeaseGroup start(Opening o) throws IOException {
+        Lean.manageable();
+        RaftGroup group = group(o.fleet(), o.peers());
+        RaftProperties properties = properties(o.electionMs());
+        NettyConfigKeys.Server.setPort(properties, o.listen().getPort());
+        NettyConfigKeys.Server.setHost(properties, o.listen().getHostString());
+        RaftServerConfigKeys.setStorageDir(properties, List.of(o.folder().toFile()));
+        // One that joins begins with no members at all, and learns them from the leader that takes it in.
+        RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
+        boolean kept = Files.isDirectory(o.folder().resolve(group.getGroupId().getUuid().toString()));
+        RaftServer server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(o.self())).setGroup(own)
+                .setStateMachine(new LeaseMachine(o.clock(), o.leader())).setProperties(properties)
                 .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
         server.start();
-        return new LeaseGroup(server, client(group, properties), self);
+        return new LeaseGroup(server, client(group, properties), o.self(), o.self() + "/" + o.life());
+    }
+
+    /** Makes these the group's members, all at once, while leases are held; done once the group has agreed. */
+    public CompletableFuture<Void> members(Map<String, InetSocketAddress> wanted) {
+        return CompletableFuture.runAsync(() -> {
+            try {
+                RaftClientReply reply = client.admin().setConfiguration(peers(wanted));
+                if (!reply.isSuccess()) {
+                    throw new IOException("lease group: " + reply.getException());
+                }
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }, asker);
+    }
+
+    /** The members as this one has them, in the order of their names. */
+    public List<String> members() throws IOException {
+        return server.getDivision(server.getGroupIds().iterator().next()).getRaftConf().getCurrentPeers().stream()
+                .map(p -> p.getId().toString()).sorted().toList();
+    }
+
+    private static List<RaftPeer> peers(Map<String, InetSocketAddress> members) {
+        return members.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                .map(e -> RaftPeer.newBuilder().setId(e.getKey()).setAddress(e.getValue().getHostString() + ":" + e.getValue().getPort()).build())
+                .toList();
     }
 
     static RaftGroup group(String fleet, Map<String, InetSocketAddress> peers) {
         RaftGroupId id = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(("elderseam-leases:" + fleet).getBytes(StandardCharsets.UTF_8)));
-        return RaftGroup.valueOf(id, peers.entrySet().stream().sorted(Map.Entry.comparingByKey())
-                .map(e -> RaftPeer.newBuilder().setId(e.getKey()).setAddress(e.getValue().getHostString() + ":" + e.getValue().getPort()).build())
-                .toList());
+        return RaftGroup.valueOf(id, peers(peers));
     }
 
     private static RaftProperties properties(long electionMs) {
@@ -100,9 +134,17 @@
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Rpc.setTimeoutMax(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
         // A request to a member that is gone waits this long before the client turns to the next one.
-        RaftClientConfigKeys.Rpc.setRequestTimeout(properties, TimeDuration.valueOf(4 * electionMs, TimeUnit.MILLISECONDS));
-        // Snapshots are not taken: the table is small and its log short-lived in tests; a long-lived fleet needs them (ROADMAP).
-        RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, false);
+        RaftClientConfigKeys.Rpc.setRequestTimeout(properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
+        // The table is small and each command short: a snapshot every so often, and the log before it goes.
+        RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
+        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Snapshot.setRetentionFileNum(properties, 2);
+        RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(properties, true);
+        RaftServerConfigKeys.Log.setPurgeGap(properties, (int) SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf("256KB"));
+        RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf("16KB"));
+        RaftServerConfigKeys.Log.setWriteBufferSize(properties, SizeInBytes.valueOf("128KB"));
+        RaftServerConfigKeys.Log.Appender.setBufferByteLimit(properties, SizeInBytes.valueOf("64KB"));
         return properties;
     }
 
@@ -111,26 +153,26 @@
                 .setParameters(new Parameters())
                 // A request that meets a member who does not lead goes on to the one it names; the count bounds a group
                 // with no majority, which then answers with a failure and the caller treats it as refused.
-                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(40, TimeDuration.valueOf(100, TimeUnit.MILLISECONDS)))
+                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(6, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)))
                 .build();
     }
 
-    /** This member's name. */
-    public String self() {
-        return self;
+    /** Who this member is in the table: its name, and which of its lives. */
+    public String holder() {
+        return holder;
     }
 
     /** Asks for {@code name} for {@code ttlMs}; the outcome says whether it was granted, and with which token. */
     public CompletableFuture<LeaseTable.Outcome> acquire(String name, long ttlMs) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.ACQUIRE, name, self, 0, ttlMs, 0));
+        return ask(new LeaseTable.Command(LeaseTable.Op.ACQUIRE, name, holder, 0, ttlMs, 0));
     }
 
     public CompletableFuture<LeaseTable.Outcome> renew(String name, long token, long ttlMs) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.RENEW, name, self, token, ttlMs, 0));
+        return ask(new LeaseTable.Command(LeaseTable.Op.RENEW, name, holder, token, ttlMs, 0));
     }
 
     public CompletableFuture<LeaseTable.Outcome> release(String name, long token) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.RELEASE, name, self, token, 0, 0));
+        return ask(new LeaseTable.Command(LeaseTable.Op.RELEASE, name, holder, token, 0, 0));
     }
 
     private CompletableFuture<LeaseTable.Outcome> ask(LeaseTable.Command command) {
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -1,53 +1,124 @@
 package elderseam.fleet.lease;
 
+import java.io.File;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.protocol.RaftGroupMemberId;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.storage.FileInfo;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachineStorage;
 import org.apache.ratis.statemachine.TransactionContext;
 import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
+import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.util.MD5FileUtil;
 
 /**
- * The lease table inside Apache Ratis. The leader stamps each command with its wall clock as it takes it in
- * ({@link #startTransaction}), so that every member applies the same time with the same command; the table then decides by
- * the log alone. After a restart the engine replays the log kept in the member's folder, and the table comes back as it was.
+ * The lease table inside Apache Ratis. The leader stamps each command as it takes it in ({@link #startTransaction}), so that
+ * every member applies the same time with the same command; the table then decides by the log alone. After a restart the
+ * engine gives back the latest snapshot and replays the log behind it, and the table comes back as it was.
  *
- * <p>The engine's one applying thread owns the table; a read ({@link #query}) takes the same lock.
+ * <p>The engine's one applying thread changes the table; whoever else reads it takes the same lock.
  */
 public final class LeaseMachine extends BaseStateMachine {
     private final LeaseTable table = new LeaseTable();
-    private final LongSupplier wallMs;
+    private final LeaderClock leading = new LeaderClock();
+    private final LongSupplier clock;
+    private final Consumer<String> leader;
+    private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+    private RaftServer server;
 
-    /** {@code wallMs}: the member's wall clock in milliseconds, an argument so that the rig can make it run fast or slow. */
-    public LeaseMachine(LongSupplier wallMs) {
-        this.wallMs = wallMs;
+    /**
+     * {@code clock}: the member's monotonic clock in nanoseconds, an argument so that a rehearsal can make it run fast or
+     * slow; {@code leader}: told who leads, on the engine's threads.
+     */
+    public LeaseMachine(LongSupplier clock, Consumer<String> leader) {
+        this.clock = clock;
+        this.leader = leader;
+    }
+
+    @Override
+    public void initialize(RaftServer server, RaftGroupId group, RaftStorage kept) throws IOException {
+        super.initialize(server, group, kept);
+        this.server = server;
+        storage.init(kept);
+        reinitialize();
+    }
+
+    @Override
+    public void reinitialize() throws IOException {
+        SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
+        if (snapshot != null) {
+            LeaseTable.Image image = LeaseCodec.image(Files.readAllBytes(snapshot.getFile().getPath()));
+            synchronized (table) {
+                table.restore(image);
+            }
+            setLastAppliedTermIndex(snapshot.getTermIndex());
+        }
+    }
+
+    /** The table as it stands, in one file; the engine then drops the log up to there. */
+    @Override
+    public long takeSnapshot() throws IOException {
+        TermIndex last;
+        LeaseTable.Image image;
+        synchronized (table) {
+            last = getLastAppliedTermIndex();
+            image = table.image();
+        }
+        File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
+        Files.write(file.toPath(), LeaseCodec.encode(image).toByteArray());
+        FileInfo info = new FileInfo(file.toPath(), MD5FileUtil.computeAndSaveMd5ForFile(file));
+        storage.updateLatestSnapshot(new SingleFileSnapshotInfo(info, last));
+        return last.getIndex();
+    }
+
+    @Override
+    public StateMachineStorage getStateMachineStorage() {
+        return storage;
+    }
+
+    @Override
+    public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId led) {
+        leader.accept(led.toString());
     }
 
     @Override
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
         LeaseTable.Command command = LeaseCodec.command(request.getMessage().getContent());
+        long term = server.getDivision(getGroupId()).getInfo().getCurrentTerm(), stamp;
+        synchronized (table) {
+            stamp = leading.stamp(term, table.now(), clock.getAsLong());
+        }
         return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
-                .setLogData(LeaseCodec.encode(command.stamped(wallMs.getAsLong()))).build();
+                .setLogData(LeaseCodec.encode(command.stamped(stamp))).build();
     }
 
     @Override
     public CompletableFuture<Message> applyTransaction(TransactionContext trx) {
         LogEntryProto entry = trx.getLogEntry();
-        LeaseTable.Outcome outcome;
         try {
             LeaseTable.Command command = LeaseCodec.command(entry.getStateMachineLogEntry().getLogData());
-            synchronized (table) {
-                outcome = table.apply(command);
+            synchronized (table) {   // the index moves with the table: a snapshot must tell of both or neither
+                LeaseTable.Outcome outcome = table.apply(command);
+                updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+                return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
             }
         } catch (IOException e) {
             // A leader checked the command before it entered the log, so this is a log written by another version.
             updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
             return CompletableFuture.failedFuture(e);
         }
-        updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
-        return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
     }
 
     /** A read: the content is a lease's name; the answer the lease as this member's table stands (holder "" if none). */
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -7,10 +7,9 @@
  * The replicated state of all leases: one holder a name at a time, and for each name a fencing token that only rises.
  *
  * <p>Every member applies the same commands in the order of the consensus log, each with the time the leader stamped on it
- * (milliseconds of the leader's wall clock). The table's own time is the greatest stamp seen so far, so a new leader whose
- * clock is behind never makes a lease end earlier than it did; one whose clock is ahead is bounded by the stated skew,
- * which the holder's rule ({@link Tenure}) takes off its own term. Nothing here reads a clock or does I/O, so the table is
- * deterministic: the same log gives the same table on every member and after every restart.
+ * (milliseconds of the table's time as {@link LeaderClock} counts it on). The table's own time is the greatest stamp seen
+ * so far. Nothing here reads a clock or does I/O, so the table is deterministic: the same log gives the same table on every
+ * member and after every restart.
  *
  * <p>Not thread-safe: the engine applies one command at a time.
  */
@@ -104,26 +103,24 @@
         return held != null && held.untilMs() > now ? held : null;
     }
 
-    /** The table's time: the greatest stamp applied, in milliseconds of the leaders' wall clocks. */
+    /** The table's time: the greatest stamp applied, in milliseconds since the fleet's first command. */
     public long now() {
         return now;
     }
 
-    /** The state to keep in a snapshot: every lease and every name's last token. */
-    public Map<String, Lease> leases() {
-        return Map.copyOf(leases);
-    }
+    /** All of it, for a snapshot: every lease, every name's last token, and the time. */
+    public record Image(Map<String, Lease> leases, Map<String, Long> tokens, long nowMs) {}
 
-    public Map<String, Long> tokens() {
-        return Map.copyOf(tokens);
+    public Image image() {
+        return new Image(Map.copyOf(leases), Map.copyOf(tokens), now);
     }
 
     /** Takes back a snapshot's state; the table's time is that of the snapshot. */
-    public void restore(Map<String, Lease> saved, Map<String, Long> savedTokens, long at) {
+    public void restore(Image saved) {
         leases.clear();
-        leases.putAll(saved);
+        leases.putAll(saved.leases());
         tokens.clear();
-        tokens.putAll(savedTokens);
-        now = at;
+        tokens.putAll(saved.tokens());
+        now = saved.nowMs();
     }
 }
--- a/src/main/java/elderseam/fleet/lease/Tenure.java
+++ b/src/main/java/elderseam/fleet/lease/Tenure.java
@@ -4,31 +4,31 @@
  * The holder's own rule of when it may act on a lease: only while the lease surely holds by its own clock.
  *
  * <p>The term is counted from the instant the holder sent its request, read on its own monotonic clock before the send:
- * the table stamped the grant later than that, so the lease there ends later than {@code sent + ttl} of true time. Two
- * things can still make the holder's count run short of the truth, and both are taken off: its clock may run slower than
- * the leaders' by up to {@code drift} (a fraction: 0.05 is 5%), and the leaders' wall clocks may stand apart by up to
- * {@code skewMs}. A clock that runs slow by {@code drift} shows only {@code 1 - drift} of the true time passed, so the holder acts
- * until {@code sent + (ttl - skew) * (1 - drift)} of its own clock. Without these margins a holder
- * stalled or slow acts after another has been granted the name; the model test finds that schedule.
+ * the table stamped the grant later than that, so by true time the lease ends later than that instant plus the term. Two
+ * things can still make the holder's count run past the truth: the leader that ends the lease may have a clock that runs
+ * fast (the term is then over after {@code ttl / (1 + drift)} of true time), and the holder's own may run slow (it shows
+ * only {@code 1 - drift} of the true time passed). So the holder acts until {@code sent + ttl * (1 - drift) / (1 + drift)} of
+ * its own clock. Where stamps of two leaders meet no margin is needed: {@link LeaderClock}. Without the margin a slow
+ * holder acts after another has been granted the name; the model test finds that schedule.
  *
  * <p>Times are nanoseconds of the holder's monotonic clock, given as arguments.
  */
 public record Tenure(long token, long sentNs, long untilNs) {
-    /** The margins of a fleet: the largest rate by which a member's clock may run slow, and the leaders' skew. */
-    public record Bounds(double drift, long skewMs) {
+    /** The margin of a fleet: no member's clock runs faster or slower than true time by more than this fraction. */
+    public record Bounds(double drift) {
         public Bounds {
-            if (!(drift >= 0 && drift < 0.5) || skewMs < 0) {
-                throw new IllegalArgumentException("drift from 0 to 0.5 and skew_ms of 0 or more allowed, not " + drift + " and " + skewMs);
+            if (!(drift >= 0 && drift < 0.5)) {
+                throw new IllegalArgumentException("drift from 0 to 0.5 allowed, not " + drift);
             }
         }
     }
 
-    /** The tenure of a grant; where the margins eat the whole term it ends as it begins, and the holder never acts. */
+    /** The tenure of a grant for {@code ttlMs} that was asked for at {@code sentNs}. */
     public static Tenure of(LeaseTable.Outcome granted, long sentNs, long ttlMs, Bounds bounds) {
         if (!granted.granted()) {
             throw new IllegalArgumentException("a tenure needs a granted lease");
         }
-        double sureMs = Math.max(0, ttlMs - bounds.skewMs()) * (1 - bounds.drift());
+        double sureMs = ttlMs * (1 - bounds.drift()) / (1 + bounds.drift());
         return new Tenure(granted.token(), sentNs, sentNs + (long) (sureMs * 1_000_000));
     }
 
--- a/src/main/java/elderseam/fleet/lease/TenureModel.java
+++ b/src/main/java/elderseam/fleet/lease/TenureModel.java
@@ -5,40 +5,41 @@
 import java.util.Optional;
 
 /**
- * An exhaustive model of the holder's acting rule: three processes (the leader whose clock stamps the table, a first
- * holder, a second that asks until it is granted) in steps of one millisecond, over every combination of the first
- * holder's clock rate, the delay of its grant, the leader's skew at the second grant, and the start and length of every
- * act the first holder may try. The table and the rule are the shipped ones ({@link LeaseTable}, {@link Tenure}).
+ * An exhaustive model of the holder's acting rule: three processes (two that lead one after the other and stamp the table,
+ * and a holder; the second holder asks every millisecond until it is granted) over every combination of the three clocks'
+ * rates, the delay of the first grant, the instant at which the lead passes on, and the start and length of every act the
+ * first holder may try. The table, the stamps and the rule are the shipped ones ({@link LeaseTable}, {@link LeaderClock},
+ * {@link Tenure}).
  *
  * <p>A schedule is unsafe where the first holder, by its own clock, acts at a true instant at which the second already
- * holds the name. With the margins of {@link Tenure.Bounds} at least the true drift and skew, none is; with none, the
- * search finds one (a slow clock acting late).
+ * holds the name. With a margin of at least the true drift none is; with none, or with a table that trusts wall clocks
+ * which stand apart, the search finds one.
  */
 public final class TenureModel {
-    /** A schedule that broke the rule: the first holder's rate, grant delay, leader's skew, and the act's true span. */
-    public record Counterexample(double rate, long delayMs, long skewMs, long actFromMs, long actToMs, long secondFromMs) {}
+    /** A schedule that broke the rule: rates of holder and leaders, the grant's delay, the change of lead, the act's true span. */
+    public record Counterexample(double holder, double first, double second, long delayMs, long changeMs, long actFromMs, long actToMs,
+                                 long grantedMs) {}
 
     private TenureModel() {}
 
     /**
-     * Explores every schedule with a true drift up to {@code trueDrift} and a true skew up to {@code trueSkewMs}, the holder
-     * keeping the margins {@code bounds}; {@code ttlMs} is the lease's term.
+     * Explores every schedule with clocks that run off true time by up to {@code trueDrift}, the holder keeping the margin
+     * {@code bounds}; {@code ttlMs} is the lease's term, and the second leader's stamps are {@code aheadMs} further than its
+     * term allows (0 as shipped; what a wall clock that stands ahead would give).
      */
-    public static Optional<Counterexample> explore(long ttlMs, double trueDrift, long trueSkewMs, Tenure.Bounds bounds) {
+    public static Optional<Counterexample> explore(long ttlMs, double trueDrift, long aheadMs, Tenure.Bounds bounds) {
         double[] rates = {1 - trueDrift, 1, 1 + trueDrift};
         long step = Math.max(1, ttlMs / 100);
-        for (double rate : rates) {
-            for (long delay = 0; delay <= ttlMs / 4; delay += step) {
-                for (long skew = -trueSkewMs; skew <= trueSkewMs; skew += Math.max(1, trueSkewMs)) {
-                    long second = secondGrant(ttlMs, delay, skew);
-                    LeaseTable.Outcome first = new LeaseTable.Outcome(true, "p", 1, delay + ttlMs, 0);
-                    Tenure tenure = Tenure.of(first, 0, ttlMs, bounds);
-                    for (long from = 0; from <= 2 * ttlMs; from += step) {
-                        for (long length : new long[] {0, step, 4 * step}) {
-                            // The holder reads its own clock, which shows true time times its rate.
-                            long localFrom = (long) (from * rate * 1_000_000), localTo = (long) ((from + length) * rate * 1_000_000);
-                            if (tenure.mayAct(localFrom, localTo) && from + length >= second) {
-                                return Optional.of(new Counterexample(rate, delay, skew, from, from + length, second));
+        for (double first : rates) {
+            for (double second : rates) {
+                for (long delay = 0; delay <= ttlMs / 4; delay += 5 * step) {
+                    for (long change = delay; change <= 2 * ttlMs; change += 10 * step) {
+                        long granted = secondGrant(ttlMs, delay, change, first, second, aheadMs);
+                        Tenure tenure = Tenure.of(new LeaseTable.Outcome(true, "p", 1, 0, 0), 0, ttlMs, bounds);
+                        for (double holder : rates) {
+                            long from = unsafe(tenure, holder, granted, ttlMs, step);
+                            if (from >= 0) {
+                                return Optional.of(new Counterexample(holder, first, second, delay, change, from, granted, granted));
                             }
                         }
                     }
@@ -48,15 +49,27 @@
         return Optional.empty();
     }
 
-    /**
-     * The first true instant at which the table grants the second holder: the first grant was stamped at {@code delay} by
-     * a true clock, the second asks every millisecond and is stamped by a leader whose clock stands {@code skew} ahead.
-     */
-    private static long secondGrant(long ttlMs, long delay, long skew) {
+    /** The true start of an act that the holder's clock allows and that still runs at {@code granted}; -1 where there is none. */
+    private static long unsafe(Tenure tenure, double rate, long granted, long ttlMs, long step) {
+        for (long from = 0; from <= 2 * ttlMs; from += step) {
+            for (long to = Math.max(from, granted); to <= Math.max(from, granted) + 4 * step; to += 4 * step) {
+                if (tenure.mayAct((long) (from * rate * 1_000_000), (long) (to * rate * 1_000_000))) {
+                    return from;
+                }
+            }
+        }
+        return -1;
+    }
+
+    /** The first true instant at which the table grants the second holder. */
+    private static long secondGrant(long ttlMs, long delay, long change, double first, double second, long aheadMs) {
         LeaseTable table = new LeaseTable();
-        table.apply(new Command(Op.ACQUIRE, "task", "p", 0, ttlMs, delay));
+        LeaderClock one = new LeaderClock(), two = new LeaderClock();
+        table.apply(new Command(Op.ACQUIRE, "task", "p", 0, ttlMs, one.stamp(1, 0, (long) (delay * first * 1_000_000))));
         for (long t = delay; ; t++) {
-            if (table.apply(new Command(Op.ACQUIRE, "task", "q", 0, ttlMs, t + skew)).granted()) {
+            long stamp = t < change ? one.stamp(1, table.now(), (long) (t * first * 1_000_000))
+                    : two.stamp(2, table.now(), (long) (t * second * 1_000_000)) + aheadMs;
+            if (table.apply(new Command(Op.ACQUIRE, "task", "q", 0, ttlMs, stamp)).granted()) {
                 return t;
             }
         }
--- a/src/main/java/elderseam/http/Lean.java
+++ b/src/main/java/elderseam/http/Lean.java
@@ -28,4 +28,11 @@
             QUIET.add(logger);
         }
     }
+
+    /** To be called before the start of an engine that does not begin without MBeans: what XNIO registers is spared by then. */
+    public static void manageable() {
+        if ("none".equals(System.getProperty("javax.management.builder.initial"))) {
+            System.clearProperty("javax.management.builder.initial");
+        }
+    }
 }
