Patterns that every request and answer meets are compiled once, not each time

JDK Flight Recorder, 16 clients on the CloudEvents front, one pinned core: 101 of 542 samples of Java code stood in java.util.regex, nearly all in Pattern.compile: Call.encoded compiled one for each header it wrote (27 samples), EventCodec.attribute one for each attribute (23), AnswerReader one for the first line, one for each header and one for the length (26), EventRules two (17), Server and PlatformFront one to five a request.

Change: the patterns are constants; a header's control characters are replaced while it is written. What is allowed and what is not stays as it was.

--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -31,12 +31,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Events as messages, by the mapping of docs/design.md: the type is the class, extensions name destination, tenant and
  * deadline, source and id are the identity. An event is decoded once, into the request that will carry it on.
  */
 final class EventCodec {
+    private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}");   // once: each event meets it
     static final int MOST_EVENT = 64 << 10, MOST_BATCH = 256 << 10, MOST_EVENTS = 64;
     private static final String BATCH = "application/cloudevents-batch+json", ONE = "application/cloudevents+json";
 
@@ -130,7 +132,7 @@
         if (name.equalsIgnoreCase("ce-datacontenttype")) {
             return "Content-Type tells it";
         }
-        if (!name.substring(3).toLowerCase(Locale.ROOT).matches("[a-z0-9]+")) {
+        if (!EventRules.isName(name.substring(3).toLowerCase(Locale.ROOT))) {
             return "no name of an attribute: a to z and 0 to 9";
         }
         try {
@@ -219,7 +221,7 @@
             return new Item(source, id, null, 400, "type '" + event.getType() + "' is no class of message");
         }
         String destination = extension(event, "destination");
-        if (!destination.matches("\\d{1,18}") && !(ruled && destination.isEmpty())) {
+        if (!DESTINATION.matcher(destination).matches() && !(ruled && destination.isEmpty())) {
             return new Item(source, id, null, 400, "destination is missing or no number");
         }
         long deadline = clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
--- a/src/main/java/elderseam/cloudevents/EventRules.java
+++ b/src/main/java/elderseam/cloudevents/EventRules.java
@@ -5,6 +5,7 @@
 import java.net.URI;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * What CloudEvents 1.0.2 demands of an event and the SDK lets pass: core sections "Naming Conventions", "Type System" and
@@ -12,6 +13,8 @@
  */
 final class EventRules {
     private static final Set<String> NOT_EXTENSIONS = Set.of("data", "data_base64");
+    private static final Pattern NAME = Pattern.compile("[a-z0-9]+"),   // once: each event meets them
+            MEDIA_TYPE = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+/[!#$%&'*+.^_`|~0-9A-Za-z-]+ *(;[ -~]*)?");
 
     private EventRules() {}
 
@@ -34,7 +37,7 @@
             return "dataschema is no absolute URI";
         }
         String type = event.getDataContentType();
-        if (type != null && !type.matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+/[!#$%&'*+.^_`|~0-9A-Za-z-]+ *(;[ -~]*)?")) {
+        if (type != null && !MEDIA_TYPE.matcher(type).matches()) {
             return "datacontenttype is no media type";
         }
         for (String name : event.getAttributeNames()) {
@@ -52,8 +55,13 @@
         return "";
     }
 
+    /** Whether an attribute may have that name, as far as its characters go. */
+    static boolean isName(String name) {
+        return NAME.matcher(name).matches();
+    }
+
     private static String name(String name) {
-        return name.matches("[a-z0-9]+") && !NOT_EXTENSIONS.contains(name) ? "" : "a name that is none: a to z and 0 to 9";
+        return isName(name) && !NOT_EXTENSIONS.contains(name) ? "" : "a name that is none: a to z and 0 to 9";
     }
 
     /** What is wrong with an event's JSON before the SDK reads it, or nothing. */
--- a/src/main/java/elderseam/http/AnswerReader.java
+++ b/src/main/java/elderseam/http/AnswerReader.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 
 /**
  * Reads one answer as its bytes come, within bounds, and trusts none of it: whatever does not fit makes it spoilt. The
@@ -13,6 +14,8 @@
  */
 final class AnswerReader {
     private static final int MOST_HEAD = 16 << 10;
+    private static final Pattern FIRST = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?"), NAME = Pattern.compile("[!-~]+"),
+            LENGTH = Pattern.compile("[0-9]{1,18}"), SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");   // once: each answer meets them
 
     enum State { LINE, HEADERS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, WHOLE, SPOILT }
 
@@ -110,7 +113,7 @@
     }
 
     private State first(String text) {
-        if (!text.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
+        if (!FIRST.matcher(text).matches()) {
             return State.SPOILT;
         }
         code = Integer.parseInt(text.substring(9, 12));
@@ -120,7 +123,7 @@
 
     private State header(String text) {
         int colon = text.indexOf(':');
-        if (colon < 1 || !text.substring(0, colon).matches("[!-~]+")) {
+        if (colon < 1 || !NAME.matcher(text.substring(0, colon)).matches()) {
             return State.SPOILT;
         }
         String name = text.substring(0, colon), value = text.substring(colon + 1).strip();
@@ -140,7 +143,7 @@
         }
         String length = headers.get("Content-Length"), encoding = headers.get("Transfer-Encoding");
         kept &= !"close".equalsIgnoreCase(headers.getOrDefault("Connection", ""));
-        if (length != null && (encoding != null || !length.matches("[0-9]{1,18}") || Long.parseLong(length) > mostBody)) {
+        if (length != null && (encoding != null || !LENGTH.matcher(length).matches() || Long.parseLong(length) > mostBody)) {
             return State.SPOILT;
         }
         if (encoding != null) {
@@ -155,7 +158,7 @@
     }
 
     private State chunk(String size) {
-        if (!size.matches("[0-9a-fA-F]{1,7}")) {
+        if (!SIZE.matcher(size).matches()) {
             return State.SPOILT;
         }
         left = Integer.parseInt(size, 16);
--- a/src/main/java/elderseam/http/Call.java
+++ b/src/main/java/elderseam/http/Call.java
@@ -13,8 +13,14 @@
     ByteBuffer encoded(String host) {
         StringBuilder head = new StringBuilder(256).append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ")
                 .append(host).append("\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value.replaceAll("\\p{Cntrl}", " "))
-                .append("\r\n"));
+        headers.forEach((name, value) -> {
+            head.append(name).append(": ");
+            for (int i = 0; i < value.length(); i++) {
+                char c = value.charAt(i);
+                head.append(c < 0x20 || c == 0x7f ? ' ' : c);   // no value may end its line
+            }
+            head.append("\r\n");
+        });
         if (!method.equals("GET")) {
             head.append("Content-Length: ").append(body.length).append("\r\n");
         }
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -19,6 +19,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
+import java.util.regex.Pattern;
 import javax.net.ssl.SSLContext;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
@@ -31,6 +32,7 @@
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
 public final class Server {
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");   // once: a request meets it
     /** A request, read to its end; the source is null where it is not known. */
     public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
         public Request(String method, String path, HeaderMap headers, byte[] body) {
@@ -164,7 +166,7 @@
         HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH), encodings = headers.get(Headers.TRANSFER_ENCODING);
         return lengths == null
                 ? encodings == null || encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked")
-                : encodings == null && lengths.size() == 1 && lengths.getFirst().matches("[0-9]{1,18}");
+                : encodings == null && lengths.size() == 1 && LENGTH.matcher(lengths.getFirst()).matches();
     }
 
     /** Whether more has come than the one request: its length was wrong, or a further one was sent before the answer. */
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -17,9 +17,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** PROTOCOL's front: a message is answered at once, its end follows as a notice. */
 public final class PlatformFront implements Front {
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}"), DEST = Pattern.compile("dest=\\d{1,18}"),
+            REMAINING = Pattern.compile("\\d{1,12}[mu]");   // once: each message meets them
     public static final byte NUMBER = 0;
     public static final int MOST_BODY = 64 << 10;
 
@@ -77,7 +80,7 @@
 
     /** The message of a request, or a {@link Fault}. */
     private Object decode(Request r) {
-        int cls = classes.indexOf(r.path().replaceFirst("^/", ""));
+        int cls = classes.indexOf(r.path().startsWith("/") ? r.path().substring(1) : r.path());
         if (cls < 0) {
             return new Fault(404, "no such class");
         }
@@ -89,7 +92,7 @@
             return new Fault(400, "X-Lane is not the class of the path");
         }
         String id = r.header("X-Txn");
-        if (!id.matches("[0-9A-Za-z_.:-]{1,64}")) {
+        if (!ID.matcher(id).matches()) {
             return new Fault(400, "bad X-Txn");
         }
         long remaining = remaining(r.header("X-Remaining"));
@@ -97,7 +100,7 @@
             return new Fault(400, "bad X-Remaining");
         }
         String dest = r.header("X-Addressing");
-        if (!dest.matches("dest=\\d{1,18}")) {
+        if (!DEST.matcher(dest).matches()) {
             return new Fault(400, "bad X-Addressing");
         }
         String key = r.header("Idempotency-Key");
@@ -112,7 +115,7 @@
 
     /** A time such as {@code 480m} (milliseconds) or {@code 480000u} (microseconds), or -1. */
     static long remaining(String text) {
-        if (!text.matches("\\d{1,12}[mu]")) {
+        if (!REMAINING.matcher(text).matches()) {
             return -1;
         }
         long number = Long.parseLong(text.substring(0, text.length() - 1));
