--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -1,5 +1,6 @@
 package elderseam.cli;
 
+import elderseam.fleet.rig.FleetFigures;
 import elderseam.fleet.rig.FleetRun;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -14,7 +15,7 @@
 
 /** The fleet rig: processes of this program on loopback, faults between them, and checkers of what happened. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-        description = "Rehearsals of a fleet: real processes with faults between them.", subcommands = FleetCommand.Test.class)
+        description = "Rehearsals of a fleet: real processes with faults between them.", subcommands = {FleetCommand.Test.class, FleetCommand.Figures.class})
 final class FleetCommand extends Commands.Group {
     @Command(name = "test", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
             description = "Plays rounds of faults and checks the whole history; exits with 0 only where no checker found a violation.")
@@ -70,4 +71,25 @@
             return 0;
         }
     }
+
+    @Command(name = "figures", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "What leases and the one watch of discovery cost and save: the same processes off and on, in one run.")
+    static final class Figures implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--members", defaultValue = "3", description = "2 to 16 (${DEFAULT-VALUE})")
+        private int members;
+
+        @Override
+        public Integer call() throws IOException {
+            if (members < 2 || members > 16) {
+                throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16");
+            }
+            PrintWriter out = spec.commandLine().getOut();
+            FleetFigures.measure(members, Files.createTempDirectory("elderseam-fleet")).forEach((name, value) -> out.println(name + "=" + value));
+            out.flush();
+            System.exit(0);   // the stand-ins' threads would hold the process
+            return 0;
+        }
+    }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -12,7 +12,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClient;
@@ -75,10 +74,10 @@
      * missing; one that holds a log is taken back, and the log's word on the members outranks {@code peers}. {@code
      * electionMs}: the least time a follower waits for its leader before it stands; the most is twice that. {@code life}: new
      * with each start of the process, so that a lease of the process before it is another holder's. {@code clock}: monotonic,
-     * in nanoseconds; {@code leader}: told who leads.
+     * in nanoseconds.
      */
     public record Opening(String fleet, String self, InetSocketAddress listen, Map<String, InetSocketAddress> peers, Path folder, long electionMs,
-                          String life, LongSupplier clock, Consumer<String> leader) {}
+                          String life, LongSupplier clock, LeaseMachine.Watch watch) {}
 
     public static LeaseGroup start(Opening o) throws IOException {
         Lean.manageable();
@@ -91,7 +90,7 @@
         RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
         boolean kept = Files.isDirectory(o.folder().resolve(group.getGroupId().getUuid().toString()));
         RaftServer server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(o.self())).setGroup(own)
-                .setStateMachine(new LeaseMachine(o.clock(), o.leader())).setProperties(properties)
+                .setStateMachine(new LeaseMachine(o.clock(), o.watch())).setProperties(properties)
                 .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
         server.start();
         return new LeaseGroup(server, client(group, properties), o.self(), o.self() + "/" + o.life());
@@ -175,6 +174,11 @@
         return ask(new LeaseTable.Command(LeaseTable.Op.RELEASE, name, holder, token, 0, 0));
     }
 
+    /** Passes {@code value} on to every member, as the holder by {@code token}; at most {@link LeaseTable#MOST_VALUE} characters. */
+    public CompletableFuture<LeaseTable.Outcome> publish(String name, long token, String value) {
+        return ask(new LeaseTable.Command(LeaseTable.Op.PUBLISH, name, holder, token, 0, 0, value));
+    }
+
     private CompletableFuture<LeaseTable.Outcome> ask(LeaseTable.Command command) {
         Message message = Message.valueOf(LeaseCodec.encode(command));
         // The blocking client turns to the next member when one is gone; the ordered async one was seen to wait on a
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
 import org.apache.ratis.protocol.Message;
@@ -34,17 +33,26 @@
     private final LeaseTable table = new LeaseTable();
     private final LeaderClock leading = new LeaderClock();
     private final LongSupplier clock;
-    private final Consumer<String> leader;
+    private final Watch watch;
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private RaftServer server;
 
+    /** Told of what the whole group learns, on the engine's threads. */
+    public interface Watch {
+        /** Who leads. */
+        void led(String by);
+
+        /** What the holder of a lease has published under it; told again after a restart, oldest first. */
+        void published(String lease, String value);
+    }
+
     /**
      * {@code clock}: the member's monotonic clock in nanoseconds, an argument so that a rehearsal can make it run fast or
-     * slow; {@code leader}: told who leads, on the engine's threads.
+     * slow.
      */
-    public LeaseMachine(LongSupplier clock, Consumer<String> leader) {
+    public LeaseMachine(LongSupplier clock, Watch watch) {
         this.clock = clock;
-        this.leader = leader;
+        this.watch = watch;
     }
 
     @Override
@@ -64,6 +72,7 @@
                 table.restore(image);
             }
             setLastAppliedTermIndex(snapshot.getTermIndex());
+            image.published().forEach(watch::published);
         }
     }
 
@@ -90,7 +99,7 @@
 
     @Override
     public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId led) {
-        leader.accept(led.toString());
+        watch.led(led.toString());
     }
 
     @Override
@@ -109,11 +118,15 @@
         LogEntryProto entry = trx.getLogEntry();
         try {
             LeaseTable.Command command = LeaseCodec.command(entry.getStateMachineLogEntry().getLogData());
+            LeaseTable.Outcome outcome;
             synchronized (table) {   // the index moves with the table: a snapshot must tell of both or neither
-                LeaseTable.Outcome outcome = table.apply(command);
+                outcome = table.apply(command);
                 updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
-                return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
             }
+            if (outcome.granted() && command.op() == LeaseTable.Op.PUBLISH) {
+                watch.published(command.name(), command.value());
+            }
+            return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
         } catch (IOException e) {
             // A leader checked the command before it entered the log, so this is a log written by another version.
             updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -14,22 +14,29 @@
  * <p>Not thread-safe: the engine applies one command at a time.
  */
 public final class LeaseTable {
-    /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by renew and release. */
-    public enum Op { ACQUIRE, RENEW, RELEASE }
+    /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by all but acquire; {@code value} by publish. */
+    public enum Op { ACQUIRE, RENEW, RELEASE, PUBLISH }
 
     /** One command, as stored in the log: the leader's stamp {@code atMs} is set when the leader takes it in. */
-    public record Command(Op op, String name, String holder, long token, long ttlMs, long atMs) {
+    public record Command(Op op, String name, String holder, long token, long ttlMs, long atMs, String value) {
         public Command {
             if (name.isEmpty() || holder.isEmpty()) {
                 throw new IllegalArgumentException("a lease command needs a name and a holder");
             }
-            if (op != Op.RELEASE && (ttlMs <= 0 || ttlMs > MOST_TTL_MS)) {
+            if (op == Op.PUBLISH && (value == null || value.length() > MOST_VALUE)) {
+                throw new IllegalArgumentException("a value to publish has at most " + MOST_VALUE + " characters");
+            }
+            if ((op == Op.ACQUIRE || op == Op.RENEW) && (ttlMs <= 0 || ttlMs > MOST_TTL_MS)) {
                 throw new IllegalArgumentException("ttl_ms " + ttlMs + ": from 1 to " + MOST_TTL_MS + " allowed");
             }
         }
 
+        public Command(Op op, String name, String holder, long token, long ttlMs, long atMs) {
+            this(op, name, holder, token, ttlMs, atMs, null);
+        }
+
         Command stamped(long at) {
-            return new Command(op, name, holder, token, ttlMs, at);
+            return new Command(op, name, holder, token, ttlMs, at, value);
         }
     }
 
@@ -50,6 +57,10 @@
     /** A lease longer than a minute is a lease that outlives its holder's failure by too long to be of use. */
     public static final long MOST_TTL_MS = 60_000;
 
+    /** The longest value that a holder may publish: one entry of the log has to fit what the engine sends at once. */
+    public static final int MOST_VALUE = 48_000;
+
+    private final Map<String, String> published = new HashMap<>();
     private final Map<String, Lease> leases = new HashMap<>();
     private final Map<String, Long> tokens = new HashMap<>();
     private long now = Long.MIN_VALUE;
@@ -83,6 +94,13 @@
                 }
                 return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
             }
+            case PUBLISH -> {   // what a holder that no longer holds has found out is not passed on
+                if (own && held.token() == c.token()) {
+                    published.put(c.name(), c.value());
+                    return new Outcome(true, held.holder(), held.token(), held.untilMs(), 0);
+                }
+                return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
+            }
             default -> throw new AssertionError(c.op());
         }
     }
@@ -108,11 +126,11 @@
         return now;
     }
 
-    /** All of it, for a snapshot: every lease, every name's last token, and the time. */
-    public record Image(Map<String, Lease> leases, Map<String, Long> tokens, long nowMs) {}
+    /** All of it, for a snapshot: every lease, every name's last token and last published value, and the time. */
+    public record Image(Map<String, Lease> leases, Map<String, Long> tokens, Map<String, String> published, long nowMs) {}
 
     public Image image() {
-        return new Image(Map.copyOf(leases), Map.copyOf(tokens), now);
+        return new Image(Map.copyOf(leases), Map.copyOf(tokens), Map.copyOf(published), now);
     }
 
     /** Takes back a snapshot's state; the table's time is that of the snapshot. */
@@ -121,6 +139,8 @@
         leases.putAll(saved.leases());
         tokens.clear();
         tokens.putAll(saved.tokens());
+        published.clear();
+        published.putAll(saved.published());
         now = saved.nowMs();
     }
 }
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -19,9 +19,14 @@
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
     private static final int PORT = 9_000;
 
+    /** What of the program is on: the leases at all, further lines of its [fleet], and whether the store has its fence. */
+    record Setup(boolean leases, String lines, boolean fenced) {
+        static final Setup USUAL = new Setup(true, "", true);
+    }
+
     private final Plan plan;
     private final Path folder;
-    private final boolean leases;
+    private final Setup setup;
     private final Network network = new Network();
     private final Outside outside = new Outside();
     private final Store store;
@@ -35,18 +40,20 @@
     private final List<String> group = new ArrayList<>();              // who is in the lease group
     private volatile String leader = "", holder = "";
     private volatile Store.Effect newest;
+    private final Object saying = new Object();
+    private final Map<String, List<String>> last = new LinkedHashMap<>();   // what each has said, under saying
     private int named;
 
-    /** Starts the members and waits until each is ready; {@code leases} false: the fleet's part is off. */
-    Cluster(Plan plan, Path folder, boolean leases, boolean fenced) throws IOException {
+    /** Starts the members and waits until each is ready. */
+    Cluster(Plan plan, Path folder, Setup setup) throws IOException {
         this.plan = plan;
         this.folder = Files.createDirectories(folder);
-        this.leases = leases;
+        this.setup = setup;
         int n = CLUSTERS.getAndIncrement();
         long pid = ProcessHandle.current().pid();
         place = "127." + (100 + n % 100) + "." + pid / 250 % 250 + "." + (1 + pid % 250);
         history = new History(folder.resolve("rig.jsonl"), "rig");
-        store = new Store(history, fenced, this::effect);
+        store = new Store(history, setup.fenced(), this::effect);
         toStore = new FaultProxy(network, STORE, store.address(), () -> pids);
         for (int i = 0; i < plan.members(); i++) {
             prepare();
@@ -79,12 +86,16 @@
         Files.writeString(own.resolve("config.json"), outside.config());
         proxies.put(name, new FaultProxy(network, name, new InetSocketAddress(place, PORT + named), () -> pids));
         Member m = new Member(name, own, Map.of("RELAY_NAME", name, "RELAY_LISTEN", "127.0.0.1:0", "RELAY_CONTROL", "127.0.0.1:0", "RELAY_DISCOVERY",
-                outside.address(), "RELAY_STATE", own.resolve("state").toString(), "RELAY_CONFIG", own.resolve("config.json").toString()), this::said);
+                outside.address(), "RELAY_STATE", own.resolve("state").toString(), "RELAY_CONFIG", own.resolve("config.json").toString()), line -> said(name, line));
         members.put(name, m);
         return m;
     }
 
-    private void said(String line) {
+    private void said(String name, String line) {
+        synchronized (saying) {
+            last.computeIfAbsent(name, n -> new ArrayList<>()).add(line);
+            saying.notifyAll();
+        }
         if (line.startsWith("fleet: led by ")) {
             leader = line.substring("fleet: led by ".length());
         }
@@ -97,9 +108,9 @@
     private void configure(String name) throws IOException {
         int number = Integer.parseInt(name.substring(1));
         String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
-        Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !leases ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
+        Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
                 + "\nname = " + name + "\nmembers = " + peers + "\nleases = " + LEASE + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
-                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
+                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines() + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
                 + "\nstore = 127.0.0.1:" + toStore.address().getPort() + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
     }
 
@@ -259,6 +270,28 @@
         }
     }
 
+    /** Waits until so many living members' last word of those that begin with {@code about} is {@code word}; false where it is not by {@code byNs}. */
+    boolean say(String about, String word, long count, long byNs) throws IOException {
+        synchronized (saying) {
+            while (saying(about, word).size() < count) {
+                long left = (byNs - System.nanoTime()) / 1_000_000;
+                if (left <= 0) {
+                    return false;
+                }
+                pauseOn(saying, left);
+            }
+            return true;
+        }
+    }
+
+    /** Whose last such word that is. */
+    List<String> saying(String about, String word) {
+        synchronized (saying) {
+            return group.stream().filter(g -> members.get(g).alive()).filter(g -> last.getOrDefault(g, List.of()).stream()
+                    .filter(l -> l.startsWith(about)).reduce((a, b) -> b).orElse("").equals(about + word)).toList();
+        }
+    }
+
     private static void pauseOn(Object lock, long ms) throws IOException {
         try {
             lock.wait(ms);
--- /dev/null
+++ b/src/main/java/elderseam/fleet/rig/FleetFigures.java
@@ -0,0 +1,121 @@
+package elderseam.fleet.rig;
+
+import elderseam.fleet.lease.LeaseGroup;
+import elderseam.fleet.lease.LeaseMachine;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What the fleet's part costs and saves, off and on in one run: the same processes with the same stand-ins, first without
+ * and then with the leases and the one watch of discovery.
+ */
+public final class FleetFigures {
+    private static final int SPAN_S = 10;
+
+    private FleetFigures() {}
+
+    /** Figures by name; times in milliseconds, memory in kB of each process, calls a second over all of them. */
+    public static Map<String, Object> measure(int members, Path folder) throws IOException {
+        Map<String, Object> f = new LinkedHashMap<>();
+        Plan leases = Plan.leases();
+        Plan plan = new Plan(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
+        f.put("members", members);
+        processes(f, "off", new Cluster(plan, folder.resolve("off"), new Cluster.Setup(false, "", true)));
+        processes(f, "on", new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true)));
+        operations(f, members, folder.resolve("group"));
+        return f;
+    }
+
+    private static void processes(Map<String, Object> f, String word, Cluster cluster) throws IOException {
+        try (Cluster c = cluster) {
+            if (word.equals("on")) {
+                c.say("fleet: ", "another watches discovery", c.group().size() - 1, System.nanoTime() + 30_000_000_000L);
+            }
+            long lists = c.outside().lists(), cpu = cpu(c);
+            Cluster.pause(SPAN_S * 1_000L);   // the span that is measured
+            f.put("discovery_calls_per_s_" + word, (double) (c.outside().lists() - lists) / SPAN_S);
+            f.put("idle_cpu_percent_" + word, (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
+            Histogram ready = new Histogram(600_000L, 3), memory = new Histogram(64_000_000L, 3), threads = new Histogram(10_000L, 3);
+            for (String name : c.group()) {
+                Member m = c.member(name);
+                ready.recordValue(m.startMs());
+                memory.recordValue(m.status("VmRSS"));
+                threads.recordValue(m.status("Threads"));
+            }
+            f.put("ready_ms_" + word, ready.getValueAtPercentile(50));
+            f.put("memory_kb_" + word, memory.getValueAtPercentile(50));
+            f.put("threads_" + word, threads.getValueAtPercentile(50));
+        }
+    }
+
+    /** Hundredths of a second of processor time that the members have used. */
+    private static long cpu(Cluster c) throws IOException {
+        long all = 0;
+        for (String name : c.group()) {
+            all += c.member(name).ticks();
+        }
+        return all;
+    }
+
+    /** Requests for a lease, one after the other, at a group whose members share this process. */
+    private static void operations(Map<String, Object> f, int members, Path folder) throws IOException {
+        Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+        for (int i = 1; i <= members; i++) {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                peers.put("m" + i, new InetSocketAddress("127.0.0.1", free.getLocalPort()));
+            }
+        }
+        Map<String, LeaseGroup> group = new LinkedHashMap<>();
+        Histogram took = new Histogram(60_000_000L, 3);   // microseconds
+        try {
+            for (String name : peers.keySet()) {
+                group.put(name, LeaseGroup.start(new LeaseGroup.Opening("figures", name, peers.get(name), peers, folder.resolve(name), 500, "1",
+                        System::nanoTime, new LeaseMachine.Watch() {
+                            @Override
+                            public void led(String by) {
+                                // whoever does
+                            }
+
+                            @Override
+                            public void published(String lease, String value) {
+                                // nothing is
+                            }
+                        })));
+            }
+            LeaseGroup asking = group.values().iterator().next();
+            long began = 0;
+            for (int n = 0; n < 2_200; n++) {
+                if (n == 200) {   // those before it warm up, and wait for the first leader
+                    began = System.nanoTime();
+                }
+                long sent = System.nanoTime();
+                try {
+                    asking.acquire("lease" + n % 10, 5_000).get();
+                    if (n >= 200) {
+                        took.recordValue((System.nanoTime() - sent) / 1_000);
+                    }
+                } catch (ExecutionException e) {
+                    n = Math.min(n, 199);   // no leader yet: begun anew
+                }
+            }
+            f.put("lease_ops_per_s", Math.round(took.getTotalCount() / ((System.nanoTime() - began) / 1e9)));
+            f.put("lease_op_us_p50", took.getValueAtPercentile(50));
+            f.put("lease_op_us_p99", took.getValueAtPercentile(99));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        } finally {
+            for (LeaseGroup g : group.values()) {
+                g.close();
+            }
+        }
+    }
+}
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/fleet/rig/Member.java
@@ -155,4 +155,11 @@
         List<String> lines = Files.readAllLines(Path.of("/proc/" + pid() + "/status"));
         return lines.stream().filter(l -> l.startsWith(figure + ":")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
     }
+
+    /** Hundredths of a second of processor time that it has used. */
+    long ticks() throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid() + "/stat"));
+        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");   // the name may hold spaces; proc(5) has the rest
+        return Long.parseLong(words[11]) + Long.parseLong(words[12]);
+    }
 }
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/fleet/rig/Outside.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** All the outside of a fleet in one place: discovery, the place for notices, one partner that delivers, and a client. */
 final class Outside {
@@ -28,7 +30,8 @@
     private final Io io;
     private final Server server;
     private final Connections client;
-    private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong();
+    private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong(), lists = new AtomicLong();
+    private volatile int destinations = 1;   // and the list's version, less one
 
     Outside() throws IOException {
         Lean.start();
@@ -44,17 +47,34 @@
     /** What a dispatcher's RELAY_CONFIG holds. */
     String config() {
         return "{\"seed\":\"1\",\"discovery\":\"" + address() + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3},"
-                + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + partner() + "]},\"settings\":" + SETTINGS + "}";
+                + "\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
     }
 
-    private String partner() {
-        return "{\"id\":\"s1\",\"addr\":\"" + address() + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":1,\"state\":\"SERVING\","
-                + "\"weight\":100.0,\"started_ms\":0}";
+    private String list() {
+        int now = destinations;
+        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":[" + IntStream.rangeClosed(1, now).mapToObj(this::partner).collect(Collectors.joining(","))
+                + "]}";
+    }
+
+    private String partner(int destination) {
+        return "{\"id\":\"s" + destination + "\",\"addr\":\"" + address() + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":" + destination
+                + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
+    }
+
+    /** Discovery lists one destination more from now on; its number. */
+    synchronized int grow() {
+        return ++destinations;
+    }
+
+    /** How often discovery was asked. */
+    long lists() {
+        return lists.get();
     }
 
     private void answer(Server.Request r, Server.Answerer to) {
         if (r.path().startsWith("/registry")) {
-            io.at(io.clock.now() + WATCH_NS, () -> to.answer(200, Map.of(), "{\"version\":2,\"full\":true,\"servers\":[" + partner() + "]}"));
+            lists.incrementAndGet();
+            io.at(io.clock.now() + WATCH_NS, () -> to.answer(200, Map.of(), list()));
         } else if (r.path().equals("/status")) {
             to.answer(204, Map.of(), "");
         } else {
@@ -68,14 +88,14 @@
         return delivered.get();
     }
 
-    /** Hands one message in at a member; its answer's code, 0 where none came. */
-    CompletableFuture<Integer> send(String member) {
+    /** Hands one message for a destination in at a member; its answer's code, 0 where none came. */
+    CompletableFuture<Integer> send(String member, int destination) {
         CompletableFuture<Integer> code = new CompletableFuture<>();
         long n = sent.incrementAndGet();
         io.run(() -> {
             long by = io.clock.now() + PATIENCE_NS;
             client.send(new UpstreamHost("member", member), new Call("POST", "/say", Map.of("X-Txn", "rig" + n, "X-Org", "org", "X-Remaining", "3500m",
-                    "X-Addressing", "dest=1", "Idempotency-Key", "k" + n), new byte[8]), by, by, reply -> code.complete(reply.code()));
+                    "X-Addressing", "dest=" + destination, "Idempotency-Key", "k" + n), new byte[8]), by, by, reply -> code.complete(reply.code()));
         });
         return code;
     }
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -29,6 +29,7 @@
     private boolean anew;              // a new place has not answered yet: its versions are not those of the old one
     private boolean stopped;           // another process watches
     private Connections.Request out;   // the one call under way, or none
+    private Runnable answered = () -> { };
 
     public Discovery(Io io, Connections connections, UpstreamHost address, Hosts hosts, Relay relay) {
         this.io = io;
@@ -75,6 +76,24 @@
         connections.closeIdle(address);
     }
 
+    /** Run each time discovery has answered, be it that nothing is new; {@link #list} then has what it told. */
+    public void onAnswer(Runnable answered) {
+        this.answered = answered;
+    }
+
+    /** The list as another dispatcher has it from the same discovery; it counts only while this one does not watch. */
+    public void heard(Json list) {
+        if (stopped && list.at("version").whole(0) != version) {
+            version = list.at("version").whole(0);
+            relay.hosts(Sender.ListKind.WHOLE, hosts.decode(list.at("servers"), true));
+        }
+    }
+
+    /** How long it is from one answer to the next, at the most, while discovery answers. */
+    public static long longestNs() {
+        return WAIT_MS * Clock.MS + ANSWER_NS;
+    }
+
     /** It does not, after all. */
     public void resume() {
         stopped = false;
@@ -119,6 +138,7 @@
                 boolean whole = list.at("full").flag();
                 relay.hosts(whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
                         hosts.decode(list.at("servers"), whole));
+                answered.run();
                 return;
             } catch (IOException e) {
                 System.err.println("discovery: " + e.getMessage());
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -184,7 +184,7 @@
     }
 
     private Fleet fleet() throws IOException {
-        return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io.clock, settings, config.state(), config.seed());
+        return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io, settings, config.state(), config.seed(), discovery);
     }
 
     private Server server(int eventClients) throws IOException {
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -3,18 +3,24 @@
 import elderseam.control.Command;
 import elderseam.control.Verdict;
 import elderseam.core.Clock;
+import elderseam.core.Json;
 import elderseam.fleet.History;
+import elderseam.fleet.lease.Duty;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseHolder;
 import elderseam.fleet.lease.LeaseKeeper;
+import elderseam.fleet.lease.LeaseMachine;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.Tenure;
 import elderseam.fleet.rig.Acts;
+import elderseam.http.Io;
 import elderseam.platform.Config;
+import elderseam.platform.Discovery;
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -29,7 +35,15 @@
 final class FleetWiring implements Daemon.Fleet {
     private static final long AGAIN_MS = 250;   // another process may have the address and the folder yet
 
+    private static final long LOOK_NS = 250 * Clock.MS;
+    private static final String DISCOVERY = "discovery";
+
+    private final Io io;
     private final Clock clock;
+    private final Discovery discovery;
+    private final Duty watching = new Duty(2 * Discovery.longestNs());   // of the I/O thread, as what follows
+    private boolean watches = true;
+    private Json latest;             // published by whoever watches
     private final Settings settings;
     private final Path folder;
     private final long seed;
@@ -39,18 +53,80 @@
     private volatile String leader = "";
     private volatile boolean left;
 
-    FleetWiring(Clock clock, Settings settings, Path state, long seed) throws IOException {
-        this.clock = clock;
+    FleetWiring(Io io, Settings settings, Path state, long seed, Discovery discovery) throws IOException {
+        this.io = io;
+        this.clock = io.clock;
+        this.discovery = discovery;
         this.settings = settings;
         this.seed = seed;
         String told = settings.get(Keys.FLEET_FOLDER), record = settings.get(Keys.REHEARSAL_HISTORY);
         this.folder = told.isEmpty() ? state.resolve("fleet") : Path.of(told);
         this.history = record.isEmpty() ? null : new History(Path.of(record), settings.get(Keys.FLEET_NAME));
+        if (one()) {
+            discovery.onAnswer(this::pass);
+            io.at(clock.now() + LOOK_NS, this::look);
+        }
         Thread starter = new Thread(this::start, "fleet-start");
         starter.setDaemon(true);
         starter.start();
     }
 
+    private boolean one() {
+        return settings.get(Keys.FLEET_DISCOVERY).equals("one");
+    }
+
+    private List<String> leases() {
+        List<String> all = new ArrayList<>(settings.get(Keys.FLEET_LEASES));
+        if (one() && !all.contains(DISCOVERY)) {
+            all.add(DISCOVERY);
+        }
+        return all;
+    }
+
+    /** The tenure by which this member watches discovery for all, or null. */
+    private Tenure tenure() {
+        Tenure t = holder == null ? null : holder.tenure(DISCOVERY);
+        return t != null && t.mayAct(clock.now(), clock.now()) ? t : null;
+    }
+
+    /** Discovery has answered: the holder passes on what it knows. A list too long to pass on leaves each member to its own watch. */
+    private void pass() {
+        Tenure t = tenure();
+        String list = t == null ? "" : discovery.list();
+        if (t != null && list.length() <= LeaseTable.MOST_VALUE) {
+            group.publish(DISCOVERY, t.token(), list);
+        }
+    }
+
+    private void heard(String list) {
+        try {
+            latest = Json.read(list.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            System.err.println("fleet: a list that can't be read: " + e.getMessage());
+            return;
+        }
+        watching.published(clock.now());
+        discovery.heard(latest);
+    }
+
+    private void look() {
+        if (left) {
+            return;
+        }
+        boolean own = watching.own(clock.now(), tenure() != null);
+        if (own != watches) {
+            watches = own;
+            System.err.println("fleet: " + (own ? "watches discovery" : "another watches discovery"));
+            if (own) {
+                discovery.resume();
+            } else {
+                discovery.passOn();
+                discovery.heard(latest);
+            }
+        }
+        io.at(clock.now() + LOOK_NS, this::look);
+    }
+
     private void start() {
         while (!left) {
             try {
@@ -72,7 +148,7 @@
         settings.get(Keys.FLEET_MEMBERS).forEach(m -> peers.put(m.substring(0, m.indexOf('=')), Config.address(m.substring(m.indexOf('=') + 1))));
         String life = Long.toString(clock.wallMs(), 36) + "-" + ProcessHandle.current().pid();
         LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(settings.get(Keys.FLEET_GROUP), settings.get(Keys.FLEET_NAME),
-                Config.address(settings.get(Keys.FLEET_LISTEN)), peers, folder, settings.get(Keys.FLEET_ELECTION_MS), life, clock::now, this::led));
+                Config.address(settings.get(Keys.FLEET_LISTEN)), peers, folder, settings.get(Keys.FLEET_ELECTION_MS), life, clock::now, new Learnt()));
         group = begun;
         if (left) {
             begun.close();
@@ -80,7 +156,7 @@
         }
         Tenure.Bounds bounds = new Tenure.Bounds(settings.get(Keys.FLEET_DRIFT_PERCENT) / 100.0);
         SplittableRandom random = new SplittableRandom(seed ^ settings.get(Keys.FLEET_NAME).hashCode());
-        holder = new LeaseHolder(begun, settings.get(Keys.FLEET_LEASES), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
+        holder = new LeaseHolder(begun, leases(), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
         System.err.println("fleet: " + begun.holder() + " on " + settings.get(Keys.FLEET_LISTEN));
         if (!settings.get(Keys.REHEARSAL_STORE).equals("off")) {
             new Acts(Config.address(settings.get(Keys.REHEARSAL_STORE)), begun.holder(), settings.get(Keys.FLEET_LEASES), holder::tenure,
@@ -88,9 +164,20 @@
         }
     }
 
-    private void led(String by) {
-        leader = by;
-        System.err.println("fleet: led by " + by);
+    /** What the whole group learns, on the engine's threads. */
+    private final class Learnt implements LeaseMachine.Watch {
+        @Override
+        public void led(String by) {
+            leader = by;
+            System.err.println("fleet: led by " + by);
+        }
+
+        @Override
+        public void published(String lease, String value) {
+            if (one() && lease.equals(DISCOVERY)) {
+                io.run(() -> heard(value));
+            }
+        }
     }
 
     /** The holder's requests, for the history of a rehearsal. */
@@ -133,7 +220,7 @@
         }
         try {
             List<String> lines = new ArrayList<>(List.of("self=" + now.holder(), "leader=" + leader, "members=" + String.join(" ", now.members())));
-            for (String lease : settings.get(Keys.FLEET_LEASES)) {
+            for (String lease : leases()) {
                 Tenure t = holder.tenure(lease);
                 boolean holds = t != null && t.mayAct(clock.now(), clock.now());
                 lines.add("lease." + lease + "=" + (holds ? "held token " + t.token() + " for " + (t.untilNs() - clock.now()) / Clock.MS + " ms" : "not held"));
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -25,6 +25,18 @@
         }
     }
 
+    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() {
+        @Override
+        public void led(String by) {
+            // not asked here
+        }
+
+        @Override
+        public void published(String lease, String value) {
+            // nor this
+        }
+    };
+
     /** The group's word; while it has no leader yet it gives none, and says so. */
     private static LeaseTable.Outcome acquire(LeaseGroup member) throws Exception {
         for (int i = 0; ; i++) {
@@ -48,7 +60,7 @@
         try {
             for (String name : peers.keySet()) {
                 members.put(name, LeaseGroup.start(new LeaseGroup.Opening("test", name, peers.get(name), peers,
-                        folder.resolve(name), 150, "1", System::nanoTime, led -> { })));
+                        folder.resolve(name), 150, "1", System::nanoTime, DEAF)));
             }
             LeaseTable.Outcome a = acquire(members.get("a"));
             assertTrue(a.granted());
--- a/src/test/java/elderseam/fleet/rig/HardCasesTest.java
+++ b/src/test/java/elderseam/fleet/rig/HardCasesTest.java
@@ -66,7 +66,7 @@
     /** No lease without a majority; messages are served all the same. */
     @Test
     void withoutAMajorityNothingIsGrantedAndMessagesAreServed() throws Exception {
-        try (Cluster c = new Cluster(plan(1_000), folder, true, true)) {
+        try (Cluster c = new Cluster(plan(1_000), folder, Cluster.Setup.USUAL)) {
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L));
             c.befall(Fault.parse(0, "crash n2"));
             c.befall(Fault.parse(0, "crash n3"));
@@ -74,7 +74,7 @@
             long granted = Checkers.read(c.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
-                assertEquals(202, c.outside().send(c.member("n1").ready()).get(10, java.util.concurrent.TimeUnit.SECONDS));
+                assertEquals(202, c.outside().send(c.member("n1").ready(), 1).get(10, java.util.concurrent.TimeUnit.SECONDS));
             }
             assertEquals(granted, Checkers.read(c.histories()).count("granted"), "nothing was granted without a majority");
             assertTrue(c.member("n1").told("FLEET").contains("=not held"));
--- /dev/null
+++ b/src/test/java/elderseam/fleet/rig/OneWatchTest.java
@@ -0,0 +1,61 @@
+package elderseam.fleet.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One member watches discovery for all, on three real processes: fewer calls, and news reach everybody over a crash of the one. */
+class OneWatchTest {
+    private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
+    private static final int SECONDS = 3;
+
+    @TempDir
+    Path folder;
+
+    private static long by(long seconds) {
+        return System.nanoTime() + seconds * 1_000_000_000L;
+    }
+
+    private static long callsIn(Cluster c, int seconds) throws Exception {
+        long before = c.outside().lists();
+        Cluster.pause(seconds * 1_000L);   // the span that is measured
+        return c.outside().lists() - before;
+    }
+
+    /** A new destination's message is taken by each member, once the list that has it has come there. */
+    private static void allLearnOf(Cluster c, int destination) throws Exception {
+        for (String name : c.group()) {
+            long by = by(20);
+            while (c.outside().send(c.member(name).ready(), destination).get(10, TimeUnit.SECONDS) != 202) {
+                assertTrue(System.nanoTime() < by, name + " does not know destination " + destination);
+                Cluster.pause(20);
+            }
+        }
+    }
+
+    @Test
+    void oneWatchesForAllAndAnotherAfterIt() throws Exception {
+        long each;
+        try (Cluster c = new Cluster(PLAN, folder.resolve("off"), new Cluster.Setup(false, "", true))) {
+            each = callsIn(c, SECONDS);
+        }
+        try (Cluster c = new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true))) {
+            assertTrue(c.say("fleet: ", "another watches discovery", 2, by(20)), "two members leave the watch to the third");
+            long one = callsIn(c, SECONDS);
+            assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
+            allLearnOf(c, c.outside().grow());
+            String watcher = c.group().stream().filter(g -> !c.saying("fleet: ", "another watches discovery").contains(g)).findFirst().orElseThrow();
+            c.befall(Fault.parse(0, "crash " + watcher));
+            assertTrue(c.say("fleet: ", "watches discovery", 1, by(30)), "one of the others takes the watch over");
+            c.heal(true);
+            allLearnOf(c, c.outside().grow());
+            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+        }
+    }
+}
