Where SIGHUP is ignored from outside the files are looked at: notices move all the same

At fault: Reload.onHangUp took it for granted that a handler which could be set is given the signal.

Change: where the handler before was SIG_IGN, configuration and settings are looked at twice a second on a thread of its own, and a change of one counts as the signal; the log says so.

Test: ReloadTest.aNewFileCountsWhereTheSignalIsIgnored, which fails without the change.

--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -218,7 +218,7 @@
                     ? Verdict.no("this process passes its work on; ask the newer one, or again") : operators.carryOut(c));
             System.err.println("control on " + control.address());
         }
-        Reload.onHangUp(() -> reading(variables), io::run);
+        Reload.onHangUp(() -> reading(variables), io::run, List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -47,6 +47,28 @@
                 """.replace("{to}", TO));
     }
 
+    /** Under nohup no handler is given the signal: a new file counts as one, and what is owed does not stay at the old place. */
+    @Test
+    void aNewFileCountsWhereTheSignalIsIgnored() throws Exception {
+        try (Scenario s = new Scenario(folder)) {
+            s.deafToHangUps();
+            s.start();
+            s.run("""
+                    platform watched 60000
+                    platform deaf 100000
+                    c send POST /rent-payment; {to} X-Txn: pay
+                    c expect 202
+                    h1 expect pay
+                    h1 close
+                    platform move
+                    platform deaf 0
+                    relay hangup
+                    relay wait reload
+                    platform expect pay; undeliverable
+                    """.replace("{to}", TO));
+        }
+    }
+
     /** The new place's versions are its own: where its first answer fails, its whole list is asked for again. */
     @Test
     void theNewPlaceIsAskedForAllUntilItAnswers() throws Exception {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -78,7 +78,7 @@
     private String events = "", listen = "127.0.0.1:0";
     private int nice;
     private boolean operated = true;
-    private String flag = "-Xshare:auto";
+    private String flag = "-Xshare:auto", trap = "";
 
     /**
      * Changes of the list, told to each watch that has not heard of them; "fail" and "mute" befall one watch. Changes and version are read
@@ -400,6 +400,11 @@
         this.nice = nice;
     }
 
+    /** The next starts have SIGHUP ignored from outside, as under nohup. */
+    void deafToHangUps() {
+        trap = "trap '' HUP; ";
+    }
+
     /** A further flag of the JVM of the next starts. */
     void flags(String flag) {
         this.flag = flag;
@@ -536,7 +541,7 @@
     void launch() throws Exception {
         configure("");
         Files.writeString(folder.resolve("elderseam.ini"), "[events]\nlisten = " + listen + "\nremember_s = 60\n" + events);
-        ProcessBuilder b = new ProcessBuilder("sh", "-c", "ulimit -n " + SOCKETS + "; exec nice -n " + nice + " \"$@\"", "sh",
+        ProcessBuilder b = new ProcessBuilder("sh", "-c", trap + "ulimit -n " + SOCKETS + "; exec nice -n " + nice + " \"$@\"", "sh",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), flag, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "elderseam.Main", "serve", folder.resolve("elderseam.ini").toString());
         b.environment().putAll(Map.of("RELAY_NAME", "n1", "RELAY_LISTEN", address, "RELAY_DISCOVERY",
