The engine's Netty takes one thread and one arena; figures without rehearsed acts

Seen: a member had 55 threads and 131 MB against 16 and 72 with the part off; Netty's defaults are two event loops and two arenas a core. The figures also counted the rehearsal's forty acts a second as the idle cost of a lease.

Change: the engine's own copy of Netty is told its sizes before its first class is loaded, where nobody told them; the cluster's acts are a switch of their own.

--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -47,8 +47,16 @@
 
     private static final long SNAPSHOT_EVERY = 2_000;   // commands
 
+    /** The engine's own copy of Netty would take two threads and two arenas of memory a core, for a few messages a second. */
+    private static final String NETTY = "org.apache.ratis.thirdparty.io.netty.";
+
     static {
         ENGINE.setLevel(java.util.logging.Level.WARNING);
+        Map.of("eventLoopThreads", "1", "allocator.numDirectArenas", "1", "allocator.numHeapArenas", "1", "allocator.maxOrder", "3").forEach((name, value) -> {
+            if (System.getProperty(NETTY + name) == null) {
+                System.setProperty(NETTY + name, value);
+            }
+        });
     }
 
     private final RaftServer server;
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -19,9 +19,9 @@
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
     private static final int PORT = 9_000;
 
-    /** What of the program is on: the leases at all, further lines of its [fleet], and whether the store has its fence. */
-    record Setup(boolean leases, String lines, boolean fenced) {
-        static final Setup USUAL = new Setup(true, "", true);
+    /** What of the program is on: the leases at all, further lines of its [fleet], acts on the store, and whether that has its fence. */
+    record Setup(boolean leases, String lines, boolean acts, boolean fenced) {
+        static final Setup USUAL = new Setup(true, "", true, true), OFF = new Setup(false, "", false, true);
     }
 
     private final Plan plan;
@@ -109,9 +109,9 @@
         int number = Integer.parseInt(name.substring(1));
         String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
         Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
-                + "\nname = " + name + "\nmembers = " + peers + "\nleases = " + LEASE + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
+                + "\nname = " + name + "\nmembers = " + peers + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
                 + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines() + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
-                + "\nstore = 127.0.0.1:" + toStore.address().getPort() + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
+                + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
     }
 
     private void start(Member m) throws IOException {
--- a/src/main/java/elderseam/fleet/rig/FleetFigures.java
+++ b/src/main/java/elderseam/fleet/rig/FleetFigures.java
@@ -28,8 +28,8 @@
         Plan leases = Plan.leases();
         Plan plan = new Plan(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
         f.put("members", members);
-        processes(f, "off", new Cluster(plan, folder.resolve("off"), new Cluster.Setup(false, "", true)));
-        processes(f, "on", new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true)));
+        processes(f, "off", new Cluster(plan, folder.resolve("off"), Cluster.Setup.OFF));
+        processes(f, "on", new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", false, true)));
         operations(f, members, folder.resolve("group"));
         return f;
     }
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/fleet/rig/FleetRun.java
@@ -58,7 +58,7 @@
     static Result run(Plan plan, Terms t, Consumer<String> tell) throws IOException {
         Files.createDirectories(t.folder());
         long began = System.nanoTime();
-        try (Cluster c = new Cluster(plan, t.folder(), new Cluster.Setup(true, "", !"no-fence".equals(t.plant())))) {
+        try (Cluster c = new Cluster(plan, t.folder(), new Cluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
             c.history().add("healed");   // the first holder is owed as one after a heal is
             c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
             for (int n = 0; n < t.rounds(); n++) {
--- a/src/test/java/elderseam/fleet/rig/OneWatchTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneWatchTest.java
@@ -42,10 +42,10 @@
     @Test
     void oneWatchesForAllAndAnotherAfterIt() throws Exception {
         long each;
-        try (Cluster c = new Cluster(PLAN, folder.resolve("off"), new Cluster.Setup(false, "", true))) {
+        try (Cluster c = new Cluster(PLAN, folder.resolve("off"), Cluster.Setup.OFF)) {
             each = callsIn(c, SECONDS);
         }
-        try (Cluster c = new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true))) {
+        try (Cluster c = new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true, true))) {
             assertTrue(c.say("fleet: ", "another watches discovery", 2, by(20)), "two members leave the watch to the third");
             long one = callsIn(c, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
