One member tries a destination whose breakers are open, on a lease of its own

A trial that is left to another is put off as a told wait puts it off (Brain.heard), so the module decides as before and is not touched. LeaseHolder takes leases up and gives them back while it runs.

--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -101,6 +101,12 @@
         brain.withdrawn(now, id);
     }
 
+    /** Nothing begins at that host for so long: another dispatcher tries it for the whole fleet. */
+    void defer(long time, String host, long ns) {
+        at(time);
+        brain.heard(now, host, ns, Sender.Report.NONE);
+    }
+
     /** Nobody looked at the network for so long. */
     void away(long time, long ns) {
         at(time);
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -275,6 +275,11 @@
         facade.advise(clock.now(), destination, doubt, trying);
     }
 
+    /** Nothing begins at these hosts for so long, as after a told wait: another dispatcher tries them for the whole fleet. */
+    public void defer(List<String> hosts, long ns) {
+        hosts.forEach(h -> facade.defer(clock.now(), h, ns));
+    }
+
     /** The work on its way from one process to the next. */
     public Handover handover() {
         return handover;
--- a/src/main/java/elderseam/fleet/lease/LeaseHolder.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseHolder.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -28,6 +29,10 @@
     private final long ttlMs;
     private final Map<String, LeaseKeeper> keepers = new LinkedHashMap<>();
     private final Map<String, Tenure> tenures = new ConcurrentHashMap<>();
+    private final Map<String, Long> others = new ConcurrentHashMap<>();   // until when another holds it
+    private final Set<String> wanted = ConcurrentHashMap.newKeySet();
+    private final Tenure.Bounds bounds;
+    private final SplittableRandom random;
     private final Thread thread;
     private volatile boolean stopped;
 
@@ -37,7 +42,9 @@
         this.clock = clock;
         this.events = events;
         this.ttlMs = ttlMs;
-        leases.forEach(l -> keepers.put(l, new LeaseKeeper(ttlMs, bounds, random.split())));
+        this.bounds = bounds;
+        this.random = random;
+        wanted.addAll(leases);
         thread = new Thread(this::run, "lease-holder");
         thread.setDaemon(true);
         thread.start();
@@ -48,9 +55,37 @@
         return tenures.get(lease);
     }
 
+    /** Until when another holds it, by the group's last word; a time that has passed where none is known to. */
+    public long othersUntil(String lease) {
+        return others.getOrDefault(lease, Long.MIN_VALUE);
+    }
+
+    /** Gets and keeps this lease too from now on, or gives it back and asks no more. Any thread may say so. */
+    public void want(String lease, boolean wants) {
+        if (wants ? wanted.add(lease) : wanted.remove(lease)) {
+            LockSupport.unpark(thread);
+        }
+    }
+
+    /** Takes up what is newly wanted, and gives back what no longer is. */
+    private void heed() {
+        wanted.forEach(l -> keepers.computeIfAbsent(l, n -> new LeaseKeeper(ttlMs, bounds, random.split())));
+        for (String lease : List.copyOf(keepers.keySet())) {
+            if (!wanted.contains(lease)) {
+                keepers.remove(lease);
+                others.remove(lease);
+                Tenure held = tenures.remove(lease);
+                if (held != null) {
+                    group.release(lease, held.token());
+                }
+            }
+        }
+    }
+
     private void run() {
         while (!stopped) {
-            long now = clock.getAsLong(), wake = Long.MAX_VALUE;
+            heed();
+            long wake = Long.MAX_VALUE;
             for (Map.Entry<String, LeaseKeeper> e : keepers.entrySet()) {
                 LeaseKeeper.Step step = e.getValue().next(clock.getAsLong());
                 if (step.ask() != LeaseKeeper.Ask.NONE && !stopped) {
@@ -58,7 +93,7 @@
                 }
                 wake = Math.min(wake, e.getValue().next(clock.getAsLong()).atNs());
             }
-            LockSupport.parkNanos(Math.max(0, wake - clock.getAsLong()));
+            LockSupport.parkNanos(wake == Long.MAX_VALUE ? 1_000_000_000L : Math.max(0, wake - clock.getAsLong()));
         }
     }
 
@@ -79,6 +114,7 @@
         } else {
             keeper.answered(sent, clock.getAsLong(), outcome);
         }
+        others.put(lease, keeper.othersUntil());
         Tenure tenure = keeper.tenure();
         if (tenure == null) {
             tenures.remove(lease);
--- a/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
@@ -21,6 +21,7 @@
     private final Tenure.Bounds bounds;
     private final SplittableRandom random;
     private Tenure tenure;
+    private long othersUntil = Long.MIN_VALUE;
     private long nextAt = Long.MIN_VALUE, retryNs = FIRST_RETRY_NS;
 
     /** {@code random}: spreads the requests of members that wait for one end. */
@@ -42,11 +43,13 @@
         retryNs = FIRST_RETRY_NS;
         if (outcome.granted()) {
             tenure = Tenure.of(outcome, sentNs, ttlMs, bounds);
+            othersUntil = Long.MIN_VALUE;
             nextAt = tenure.renewByNs();
             return;
         }
         tenure = null;   // the table has another holder, or has seen the lease end
         long again = Math.min(ttlMs, outcome.againMs()) * MS;
+        othersUntil = again > 0 ? now + again + ttlMs * MS / 10 : Long.MIN_VALUE;   // until it has been asked for again
         nextAt = now + again + (long) (random.nextDouble() * ttlMs * MS / 20);
     }
 
@@ -61,6 +64,11 @@
         return tenure;
     }
 
+    /** Until when another holds it by the group's last word, its renewals not foreseen; the least value where none does. */
+    public long othersUntil() {
+        return othersUntil;
+    }
+
     public boolean holds(long now) {
         return tenure != null && now < tenure.untilNs();
     }
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/fleet/rig/Outside.java
@@ -30,7 +30,8 @@
     private final Io io;
     private final Server server;
     private final Connections client;
-    private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong(), lists = new AtomicLong();
+    private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong(), lists = new AtomicLong(), failed = new AtomicLong();
+    private volatile boolean failing;
     private volatile int destinations = 1;   // and the list's version, less one
 
     Outside() throws IOException {
@@ -78,11 +79,26 @@
         } else if (r.path().equals("/status")) {
             to.answer(204, Map.of(), "");
         } else {
-            delivered.incrementAndGet();
-            to.answer(200, Map.of(), "");
+            if (failing) {
+                failed.incrementAndGet();
+                to.answer(500, Map.of(), "");
+            } else {
+                delivered.incrementAndGet();
+                to.answer(200, Map.of(), "");
+            }
         }
     }
 
+    /** The partner answers every call with an error from now on, or delivers again. */
+    void fail(boolean fails) {
+        failing = fails;
+    }
+
+    /** How many calls it answered with an error. */
+    long failed() {
+        return failed.get();
+    }
+
     /** How many messages the partner took. */
     long delivered() {
         return delivered.get();
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -28,6 +28,11 @@
         return known == null ? new UpstreamHost(id, "") : known.host;
     }
 
+    /** The hosts of a destination, by their ids. */
+    public List<String> of(long destination) {
+        return listed.values().stream().filter(l -> l.entry.destination() == destination).map(l -> l.host.id()).toList();
+    }
+
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
     public List<Sender.Endpoint> decode(Json servers, boolean whole) {
         if (whole) {
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -56,6 +56,7 @@
     private final Relay relay;
     private final PlatformFront front;
     private final Discovery discovery;
+    private final Hosts hosts;
     private final Path settingsFile;
     private final Settings settings;
     private final Journal journal;
@@ -157,7 +158,7 @@
         var module = config.settings().settings();
         Limits limits = config.limits();
         long idleNs = module.connections().idleNs() * 4 / 5;
-        Hosts hosts = new Hosts(config.settings());
+        hosts = new Hosts(config.settings());
         upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
         Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
         relay = new Relay(module, config.seed(), journal, io.clock, io);
@@ -184,7 +185,8 @@
     }
 
     private Fleet fleet() throws IOException {
-        return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io, settings, config.state(), config.seed(), discovery);
+        return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io, settings, config.state(),
+                config.seed(), new FleetWiring.Work(relay, discovery, hosts));
     }
 
     private Server server(int eventClients) throws IOException {
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -3,9 +3,8 @@
 import elderseam.control.Command;
 import elderseam.control.Verdict;
 import elderseam.core.Clock;
-import elderseam.core.Json;
+import elderseam.core.Relay;
 import elderseam.fleet.History;
-import elderseam.fleet.lease.Duty;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseHolder;
 import elderseam.fleet.lease.LeaseKeeper;
@@ -16,11 +15,11 @@
 import elderseam.http.Io;
 import elderseam.platform.Config;
 import elderseam.platform.Discovery;
+import elderseam.platform.Hosts;
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -36,14 +35,11 @@
     private static final long AGAIN_MS = 250;   // another process may have the address and the folder yet
 
     private static final long LOOK_NS = 250 * Clock.MS;
-    private static final String DISCOVERY = "discovery";
 
     private final Io io;
     private final Clock clock;
-    private final Discovery discovery;
-    private final Duty watching = new Duty(2 * Discovery.longestNs());   // of the I/O thread, as what follows
-    private boolean watches = true;
-    private Json latest;             // published by whoever watches
+    private final OneWatch watch;   // each null where it is off; both of the I/O thread
+    private final OneTrial trials;
     private final Settings settings;
     private final Path folder;
     private final long seed;
@@ -53,17 +49,21 @@
     private volatile String leader = "";
     private volatile boolean left;
 
-    FleetWiring(Io io, Settings settings, Path state, long seed, Discovery discovery) throws IOException {
+    /** What the tasks act on: the relay's breakers, the watch of discovery and the hosts that it lists. */
+    record Work(Relay relay, Discovery discovery, Hosts hosts) {}
+
+    FleetWiring(Io io, Settings settings, Path state, long seed, Work work) throws IOException {
         this.io = io;
         this.clock = io.clock;
-        this.discovery = discovery;
         this.settings = settings;
         this.seed = seed;
         String told = settings.get(Keys.FLEET_FOLDER), record = settings.get(Keys.REHEARSAL_HISTORY);
         this.folder = told.isEmpty() ? state.resolve("fleet") : Path.of(told);
         this.history = record.isEmpty() ? null : new History(Path.of(record), settings.get(Keys.FLEET_NAME));
-        if (one()) {
-            discovery.onAnswer(this::pass);
+        this.watch = settings.get(Keys.FLEET_DISCOVERY).equals("one") ? new OneWatch(clock, work.discovery(), this) : null;
+        this.trials = settings.get(Keys.FLEET_TRIALS).equals("one")
+                ? new OneTrial(clock, work.relay(), work.hosts(), this, 2 * settings.get(Keys.FLEET_TTL_MS) * Clock.MS) : null;
+        if (watch != null || trials != null) {
             io.at(clock.now() + LOOK_NS, this::look);
         }
         Thread starter = new Thread(this::start, "fleet-start");
@@ -71,60 +71,48 @@
         starter.start();
     }
 
-    private boolean one() {
-        return settings.get(Keys.FLEET_DISCOVERY).equals("one");
-    }
-
     private List<String> leases() {
         List<String> all = new ArrayList<>(settings.get(Keys.FLEET_LEASES));
-        if (one() && !all.contains(DISCOVERY)) {
-            all.add(DISCOVERY);
+        if (watch != null && !all.contains(OneWatch.LEASE)) {
+            all.add(OneWatch.LEASE);
         }
         return all;
     }
 
-    /** The tenure by which this member watches discovery for all, or null. */
-    private Tenure tenure() {
-        Tenure t = holder == null ? null : holder.tenure(DISCOVERY);
+    private void look() {
+        if (left) {
+            return;
+        }
+        if (watch != null) {
+            watch.look();
+        }
+        if (trials != null) {
+            trials.look();
+        }
+        io.at(clock.now() + LOOK_NS, this::look);
+    }
+
+    // ---------------------------------------------------------------- for the tasks, on the I/O thread
+
+    /** The tenure by which this member may act on a lease now, or null. */
+    Tenure tenure(String lease) {
+        Tenure t = holder == null ? null : holder.tenure(lease);
         return t != null && t.mayAct(clock.now(), clock.now()) ? t : null;
     }
 
-    /** Discovery has answered: the holder passes on what it knows. A list too long to pass on leaves each member to its own watch. */
-    private void pass() {
-        Tenure t = tenure();
-        String list = t == null ? "" : discovery.list();
-        if (t != null && list.length() <= LeaseTable.MOST_VALUE) {
-            group.publish(DISCOVERY, t.token(), list);
-        }
+    /** Whether another member holds it by the group's last word. */
+    boolean another(String lease) {
+        return holder != null && holder.othersUntil(lease) > clock.now();
     }
 
-    private void heard(String list) {
-        try {
-            latest = Json.read(list.getBytes(StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            System.err.println("fleet: a list that can't be read: " + e.getMessage());
-            return;
+    void want(String lease, boolean wants) {
+        if (holder != null) {
+            holder.want(lease, wants);
         }
-        watching.published(clock.now());
-        discovery.heard(latest);
     }
 
-    private void look() {
-        if (left) {
-            return;
-        }
-        boolean own = watching.own(clock.now(), tenure() != null);
-        if (own != watches) {
-            watches = own;
-            System.err.println("fleet: " + (own ? "watches discovery" : "another watches discovery"));
-            if (own) {
-                discovery.resume();
-            } else {
-                discovery.passOn();
-                discovery.heard(latest);
-            }
-        }
-        io.at(clock.now() + LOOK_NS, this::look);
+    void publish(String lease, Tenure by, String value) {
+        group.publish(lease, by.token(), value);
     }
 
     private void start() {
@@ -174,9 +162,13 @@
 
         @Override
         public void published(String lease, String value) {
-            if (one() && lease.equals(DISCOVERY)) {
-                io.run(() -> heard(value));
-            }
+            io.run(() -> {
+                if (watch != null && lease.equals(OneWatch.LEASE)) {
+                    watch.heard(value);
+                } else if (trials != null) {
+                    trials.heard(lease);
+                }
+            });
         }
     }
 
--- /dev/null
+++ b/src/main/java/elderseam/wiring/OneWatch.java
@@ -0,0 +1,63 @@
+package elderseam.wiring;
+
+import elderseam.core.Clock;
+import elderseam.core.Json;
+import elderseam.fleet.lease.Duty;
+import elderseam.fleet.lease.LeaseTable;
+import elderseam.fleet.lease.Tenure;
+import elderseam.platform.Discovery;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** One member watches discovery for all, by the lease {@link #LEASE}; of the I/O thread. */
+final class OneWatch {
+    static final String LEASE = "discovery";
+
+    private final Clock clock;
+    private final Discovery discovery;
+    private final FleetWiring fleet;
+    private final Duty duty = new Duty(2 * Discovery.longestNs());
+    private boolean watches = true;
+    private Json latest;   // published by whoever watches
+
+    OneWatch(Clock clock, Discovery discovery, FleetWiring fleet) {
+        this.clock = clock;
+        this.discovery = discovery;
+        this.fleet = fleet;
+        discovery.onAnswer(this::pass);
+    }
+
+    /** Discovery has answered: the holder passes on what it knows. A list too long to pass on leaves each member to its own watch. */
+    private void pass() {
+        Tenure t = fleet.tenure(LEASE);
+        String list = t == null ? "" : discovery.list();
+        if (t != null && list.length() <= LeaseTable.MOST_VALUE) {
+            fleet.publish(LEASE, t, list);
+        }
+    }
+
+    void heard(String list) {
+        try {
+            latest = Json.read(list.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            System.err.println("fleet: a list that can't be read: " + e.getMessage());
+            return;
+        }
+        duty.published(clock.now());
+        discovery.heard(latest);
+    }
+
+    void look() {
+        boolean own = duty.own(clock.now(), fleet.tenure(LEASE) != null);
+        if (own != watches) {
+            watches = own;
+            System.err.println("fleet: " + (own ? "watches discovery" : "another watches discovery"));
+            if (own) {
+                discovery.resume();
+            } else {
+                discovery.passOn();
+                discovery.heard(latest);
+            }
+        }
+    }
+}
