--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint run figures bench fuzz long
+.PHONY: build test lint run figures bench engines fuzz long
 
 build:
 	mvn -q -B -DskipTests package
@@ -26,6 +26,11 @@
 	mvn -q -B -Pbench test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) org.openjdk.jmh.Main -prof gc $(WORDS)
 
+# The fleet's engine beside ZooKeeper with Curator; WORDS: how often the holder is killed. Two minutes.
+engines: build
+	mvn -q -B -Pbench test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.fleet.EngineBench $(WORDS)
+
 # Fuzzes the rules' parser, evaluator, JSON reader and files for a minute each; new findings become seeds that tests replay.
 fuzz:
 	for target in expressions bodies files; do JAZZER_FUZZ=1 mvn -q -B test -Dtest="RulesFuzzTest#$$target" || exit 1; done
