--- a/bench/src/elderseam/fleet/EngineMember.java
+++ b/bench/src/elderseam/fleet/EngineMember.java
@@ -62,7 +62,7 @@
                     public void published(String lease, String value) {
                         // nothing is
                     }
-                }));
+                }, LeaseGroup.SNAPSHOT_EVERY));
         new LeaseHolder(group, List.of("task"), TERM_MS, new Tenure.Bounds(0.05), new SplittableRandom(number), System::nanoTime, new LeaseHolder.Events() {
             private long token = -1;
 
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -45,7 +45,7 @@
     /** The engine tells every setting it reads at INFO; held here so that the level stays (loggers are weakly kept). */
     private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
 
-    private static final long SNAPSHOT_EVERY = 2_000;   // commands
+    public static final long SNAPSHOT_EVERY = 2_000;
 
     /** The engine's own copy of Netty would take two threads and two arenas of memory a core, for a few messages a second. */
     private static final String NETTY = "org.apache.ratis.thirdparty.io.netty.";
@@ -82,15 +82,15 @@
      * missing; one that holds a log is taken back, and the log's word on the members outranks {@code peers}. {@code
      * electionMs}: the least time a follower waits for its leader before it stands; the most is twice that. {@code life}: new
      * with each start of the process, so that a lease of the process before it is another holder's. {@code clock}: monotonic,
-     * in nanoseconds.
+     * in nanoseconds. {@code snapshotEvery}: commands from one snapshot to the next, {@link #SNAPSHOT_EVERY} as a rule.
      */
     public record Opening(String fleet, String self, InetSocketAddress listen, Map<String, InetSocketAddress> peers, Path folder, long electionMs,
-                          String life, LongSupplier clock, LeaseMachine.Watch watch) {}
+                          String life, LongSupplier clock, LeaseMachine.Watch watch, long snapshotEvery) {}
 
     public static LeaseGroup start(Opening o) throws IOException {
         Lean.manageable();
         RaftGroup group = group(o.fleet(), o.peers());
-        RaftProperties properties = properties(o.electionMs());
+        RaftProperties properties = properties(o.electionMs(), o.snapshotEvery());
         NettyConfigKeys.Server.setPort(properties, o.listen().getPort());
         NettyConfigKeys.Server.setHost(properties, o.listen().getHostString());
         RaftServerConfigKeys.setStorageDir(properties, List.of(o.folder().toFile()));
@@ -135,7 +135,7 @@
         return RaftGroup.valueOf(id, peers(peers));
     }
 
-    private static RaftProperties properties(long electionMs) {
+    private static RaftProperties properties(long electionMs, long snapshotEvery) {
         RaftProperties properties = new RaftProperties();
         RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.NETTY);
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
@@ -144,10 +144,10 @@
         RaftClientConfigKeys.Rpc.setRequestTimeout(properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
         // The table is small and each command short: a snapshot every so often, and the log before it goes.
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
-        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, snapshotEvery);
         RaftServerConfigKeys.Snapshot.setRetentionFileNum(properties, 2);
         RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(properties, true);
-        RaftServerConfigKeys.Log.setPurgeGap(properties, (int) SNAPSHOT_EVERY);
+        RaftServerConfigKeys.Log.setPurgeGap(properties, (int) snapshotEvery);
         RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf("256KB"));
         RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf("16KB"));
         RaftServerConfigKeys.Log.setWriteBufferSize(properties, SizeInBytes.valueOf("128KB"));
--- a/src/main/java/elderseam/fleet/lease/LeaseHolder.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseHolder.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.locks.LockSupport;
@@ -124,12 +125,12 @@
         events.answered(lease, outcome, tenure);
     }
 
-    /** Acts on nothing any more, and gives back what it holds; waits for neither. */
-    public void leave() {
+    /** Acts on nothing any more, and gives back what it holds; done once the group has said so of all. */
+    public CompletableFuture<Void> leave() {
         stopped = true;
         Map<String, Tenure> held = Map.copyOf(tenures);
         tenures.clear();
         LockSupport.unpark(thread);
-        held.forEach((lease, t) -> group.release(lease, t.token()));
+        return CompletableFuture.allOf(held.entrySet().stream().map(e -> group.release(e.getKey(), e.getValue().token())).toArray(CompletableFuture[]::new));
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -20,6 +20,7 @@
 import org.apache.ratis.statemachine.impl.BaseStateMachine;
 import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
 import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
 
 /**
@@ -60,11 +61,22 @@
         super.initialize(server, group, kept);
         this.server = server;
         storage.init(kept);
-        reinitialize();
+        getLifeCycle().startAndTransition(this::load, IOException.class);
+    }
+
+    /** Before a snapshot of the leader's takes the table's place; the engine ends a member whose machine does not say that it pauses. */
+    @Override
+    public void pause() {
+        getLifeCycle().transition(LifeCycle.State.PAUSING);
+        getLifeCycle().transition(LifeCycle.State.PAUSED);
     }
 
     @Override
     public void reinitialize() throws IOException {
+        getLifeCycle().startAndTransition(this::load, IOException.class);
+    }
+
+    private void load() throws IOException {
         SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
         if (snapshot != null) {
             LeaseTable.Image image = LeaseCodec.image(Files.readAllBytes(snapshot.getFile().getPath()));
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -167,6 +167,13 @@
                     kill(name);
                 }
             }
+            case "end" -> {
+                Member m = members.get(whom.get(0));
+                if (m.alive()) {
+                    m.end();
+                    history.add("killed", "member", m.name);
+                }
+            }
             case "restart" -> restart();
             default -> replace(whom.get(0));
         }
--- a/src/main/java/elderseam/fleet/rig/Fault.java
+++ b/src/main/java/elderseam/fleet/rig/Fault.java
@@ -9,17 +9,18 @@
  */
 record Fault(long atMs, String verb, List<String> words) {
     /** Each verb with the words that it takes: W for whom, N for milliseconds. */
-    static final Map<String, String> VERBS = Map.of(
-            "isolate", "W",      // from all members and the store, both ways
-            "partition", "W+",   // these members from the rest of them; the store is reached by all
-            "mute", "W",         // what it sends is lost, what it is sent arrives
-            "deafen", "W",       // the other way
-            "delay", "N",        // every link, so long
-            "reset", "",         // every connection between members and to the store
-            "stall", "WN",       // SIGSTOP, and SIGCONT so much later
-            "crash", "W",        // SIGKILL; started again on its folder at the heal, or by restart
-            "replace", "W",      // a new member is taken in for it while leases are held, then it is killed
-            "restart", "");      // what was crashed starts again
+    static final Map<String, String> VERBS = Map.ofEntries(
+            Map.entry("isolate", "W"),      // from all members and the store, both ways
+            Map.entry("partition", "W+"),   // these members from the rest of them; the store is reached by all
+            Map.entry("mute", "W"),         // what it sends is lost, what it is sent arrives
+            Map.entry("deafen", "W"),       // the other way
+            Map.entry("delay", "N"),        // every link, so long
+            Map.entry("reset", ""),         // every connection between members and to the store
+            Map.entry("stall", "WN"),       // SIGSTOP, and SIGCONT so much later
+            Map.entry("crash", "W"),        // SIGKILL; started again on its folder at the heal, or by restart
+            Map.entry("end", "W"),          // SIGTERM, as a planned restart begins; back on its folder at the heal
+            Map.entry("replace", "W"),      // a new member is taken in for it while leases are held, then it is killed
+            Map.entry("restart", ""));      // what was crashed starts again
 
     private static final String WHO = "holder|leader|other|n\\d{1,3}";
 
--- a/src/main/java/elderseam/fleet/rig/FleetFigures.java
+++ b/src/main/java/elderseam/fleet/rig/FleetFigures.java
@@ -88,7 +88,7 @@
                             public void published(String lease, String value) {
                                 // nothing is
                             }
-                        })));
+                        }, LeaseGroup.SNAPSHOT_EVERY)));
             }
             LeaseGroup asking = group.values().iterator().next();
             long began = 0;
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/fleet/rig/Member.java
@@ -133,6 +133,17 @@
         }
     }
 
+    /** SIGTERM; returns once the process has ended by itself. */
+    void end() throws IOException {
+        signal("TERM");
+        try {
+            process.waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     void stall() throws IOException {
         signal("STOP");
     }
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -26,6 +26,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Wires the fleet's leases; where they are off this class is not loaded. All of it runs on threads of its own, so that
@@ -34,6 +36,7 @@
 final class FleetWiring implements Daemon.Fleet {
     private static final long AGAIN_MS = 250;   // another process may have the address and the folder yet
 
+    private static final long LEAVING_MS = 1_000;   // of the 3.3 s that a drain has
     private static final long LOOK_NS = 250 * Clock.MS;
 
     private final Io io;
@@ -136,7 +139,8 @@
         settings.get(Keys.FLEET_MEMBERS).forEach(m -> peers.put(m.substring(0, m.indexOf('=')), Config.address(m.substring(m.indexOf('=') + 1))));
         String life = Long.toString(clock.wallMs(), 36) + "-" + ProcessHandle.current().pid();
         LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(settings.get(Keys.FLEET_GROUP), settings.get(Keys.FLEET_NAME),
-                Config.address(settings.get(Keys.FLEET_LISTEN)), peers, folder, settings.get(Keys.FLEET_ELECTION_MS), life, clock::now, new Learnt()));
+                Config.address(settings.get(Keys.FLEET_LISTEN)), peers, folder, settings.get(Keys.FLEET_ELECTION_MS), life, clock::now, new Learnt(),
+                LeaseGroup.SNAPSHOT_EVERY));
         group = begun;
         if (left) {
             begun.close();
@@ -227,12 +231,10 @@
     @Override
     public void leave() {
         left = true;
-        LeaseHolder held = holder;
-        if (held != null) {
-            held.leave();
-        }
+        CompletableFuture<Void> givenBack = holder == null ? CompletableFuture.completedFuture(null) : holder.leave();
         Thread end = new Thread(() -> {
             try {
+                givenBack.exceptionally(e -> null).completeOnTimeout(null, LEAVING_MS, TimeUnit.MILLISECONDS).join();   // else the others wait for its term
                 if (group != null) {
                     group.close();
                 }
