--- a/bench/src/elderseam/fleet/EngineMember.java
+++ b/bench/src/elderseam/fleet/EngineMember.java
@@ -57,16 +57,6 @@
                     public void led(String by) {
                         say("led by " + by);
                     }
-
-                    @Override
-                    public void published(String lease, String value) {
-                        // nothing is
-                    }
-
-                    @Override
-                    public void freed(String lease) {
-                        // nor is this
-                    }
                 }, LeaseGroup.SNAPSHOT_EVERY));
         new LeaseHolder(group, List.of("task"), TERM_MS, new Tenure.Bounds(0.05), new SplittableRandom(number), System::nanoTime, new LeaseHolder.Events() {
             private long token = -1;
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -38,16 +38,16 @@
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private RaftServer server;
 
-    /** Told of what the whole group learns, on the engine's threads. */
+    /** Told of what the whole group learns, on the engine's threads; passes over what is not asked for. */
     public interface Watch {
         /** Who leads. */
-        void led(String by);
+        default void led(String by) {}
 
         /** What the holder of a lease has published under it; told again after a restart, oldest first. */
-        void published(String lease, String value);
+        default void published(String lease, String value) {}
 
         /** A lease was given back before its end. */
-        void freed(String lease);
+        default void freed(String lease) {}
     }
 
     /**
--- a/src/main/java/elderseam/fleet/rig/FleetFigures.java
+++ b/src/main/java/elderseam/fleet/rig/FleetFigures.java
@@ -78,22 +78,7 @@
         try {
             for (String name : peers.keySet()) {
                 group.put(name, LeaseGroup.start(new LeaseGroup.Opening("figures", name, peers.get(name), peers, folder.resolve(name), 500, "1",
-                        System::nanoTime, new LeaseMachine.Watch() {
-                            @Override
-                            public void led(String by) {
-                                // whoever does
-                            }
-
-                            @Override
-                            public void published(String lease, String value) {
-                                // nothing is
-                            }
-
-                            @Override
-                            public void freed(String lease) {
-                                // nor is this
-                            }
-                        }, LeaseGroup.SNAPSHOT_EVERY)));
+                        System::nanoTime, new LeaseMachine.Watch() { }, LeaseGroup.SNAPSHOT_EVERY)));
             }
             LeaseGroup asking = group.values().iterator().next();
             long began = 0;
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/fleet/rig/Member.java
@@ -124,9 +124,12 @@
 
     /** SIGKILL; returns once the process is gone. */
     void kill() throws IOException {
-        process.destroyForcibly();
+        awaitEnd(process.destroyForcibly());
+    }
+
+    private static void awaitEnd(Process p) throws IOException {
         try {
-            process.waitFor();
+            p.waitFor();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
@@ -136,12 +139,7 @@
     /** SIGTERM; returns once the process has ended by itself. */
     void end() throws IOException {
         signal("TERM");
-        try {
-            process.waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException(e);
-        }
+        awaitEnd(process);
     }
 
     void stall() throws IOException {
@@ -153,12 +151,7 @@
     }
 
     private void signal(String name) throws IOException {
-        try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException(e);
-        }
+        awaitEnd(new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start());
     }
 
     /** A figure of /proc/PID/status: VmRSS in kB, or Threads. */
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -27,22 +27,7 @@
         }
     }
 
-    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() {
-        @Override
-        public void led(String by) {
-            // not asked here
-        }
-
-        @Override
-        public void published(String lease, String value) {
-            // nor this
-        }
-
-        @Override
-        public void freed(String lease) {
-            // nor is this
-        }
-    };
+    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() { };
 
     private LeaseGroup start(String name, Map<String, InetSocketAddress> peers, long snapshotEvery) throws IOException {
         Map<String, InetSocketAddress> founding = new LinkedHashMap<>(peers);
