The rig ends its processes when it is ended itself, or when a member does not come up

Change: a shutdown hook ends every process that the cluster started; a start that fails closes what was started before.

--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -10,7 +10,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The processes of one test with the stand-ins round them, and what can be done to them. One thread uses it. */
@@ -43,6 +45,8 @@
     private final Object saying = new Object();
     private final Map<String, List<String>> last = new LinkedHashMap<>();   // what each has said, under saying
     private int named;
+    private final Queue<Process> started = new ConcurrentLinkedQueue<>();
+    private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
 
     /** Starts the members and waits until each is ready. */
     Cluster(Plan plan, Path folder, Setup setup) throws IOException {
@@ -55,6 +59,16 @@
         history = new History(folder.resolve("rig.jsonl"), "rig");
         store = new Store(history, setup.fenced(), this::effect);
         toStore = new FaultProxy(network, STORE, store.address(), () -> pids);
+        Runtime.getRuntime().addShutdownHook(ends);   // an interrupted test leaves no process behind
+        try {
+            begin();
+        } catch (IOException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void begin() throws IOException {
         for (int i = 0; i < plan.members(); i++) {
             prepare();
         }
@@ -115,7 +129,7 @@
     }
 
     private void start(Member m) throws IOException {
-        m.start();
+        started.add(m.start());
         pids.put(m.name, m.pid());
         history.add("started", "member", m.name, "pid", m.pid());
     }
@@ -347,6 +361,11 @@
 
     @Override
     public void close() throws IOException {
+        try {
+            Runtime.getRuntime().removeShutdownHook(ends);
+        } catch (IllegalStateException e) {
+            // the process ends already, and the hook runs
+        }
         for (Member m : members.values()) {
             if (m.alive()) {
                 m.kill();
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/fleet/rig/Member.java
@@ -38,7 +38,7 @@
     }
 
     /** Starts it; {@link #ready} waits until it serves. */
-    void start() throws IOException {
+    Process start() throws IOException {
         ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-Xss256k", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
                 "elderseam.Main", "serve", folder.resolve("elderseam.ini").toString());
@@ -53,6 +53,7 @@
         Thread reader = new Thread(() -> read(lines, serves, controls), "log-" + name);
         reader.setDaemon(true);
         reader.start();
+        return process;
     }
 
     private void read(BufferedReader lines, CompletableFuture<String> serves, CompletableFuture<String> controls) {
