--- a/src/main/java/elderseam/fleet/lease/Fence.java
+++ b/src/main/java/elderseam/fleet/lease/Fence.java
@@ -20,9 +20,4 @@
         newest.put(name, token);
         return true;
     }
-
-    /** The newest token seen for a name, 0 before any. */
-    public long newest(String name) {
-        return newest.getOrDefault(name, 0L);
-    }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -28,7 +28,7 @@
  * every member applies the same time with the same command; the table then decides by the log alone. After a restart the
  * engine gives back the latest snapshot and replays the log behind it, and the table comes back as it was.
  *
- * <p>The engine's one applying thread changes the table; whoever else reads it takes the same lock.
+ * <p>The engine's one applying thread changes the table; whoever else reads it (a stamp, a snapshot) takes the same lock.
  */
 public final class LeaseMachine extends BaseStateMachine {
     private final LeaseTable table = new LeaseTable();
@@ -150,19 +150,4 @@
             return CompletableFuture.failedFuture(e);
         }
     }
-
-    /** A read: the content is a lease's name; the answer the lease as this member's table stands (holder "" if none). */
-    @Override
-    public CompletableFuture<Message> query(Message request) {
-        String name = request.getContent().toStringUtf8();
-        LeaseTable.Lease lease;
-        long now;
-        synchronized (table) {
-            lease = table.holder(name);
-            now = table.now();
-        }
-        LeaseTable.Outcome outcome = lease == null ? new LeaseTable.Outcome(false, "", 0, now, 0)
-                : new LeaseTable.Outcome(true, lease.holder(), lease.token(), lease.untilMs(), Math.max(0, lease.untilMs() - now));
-        return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
-    }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -115,12 +115,6 @@
         return tokens.getOrDefault(name, 0L);
     }
 
-    /** The lease of a name as the table stands, or null where none is live at the table's time. */
-    public Lease holder(String name) {
-        Lease held = leases.get(name);
-        return held != null && held.untilMs() > now ? held : null;
-    }
-
     /** The table's time: the greatest stamp applied, in milliseconds since the fleet's first command. */
     public long now() {
         return now;
--- a/src/main/java/elderseam/fleet/lease/TrialDuty.java
+++ b/src/main/java/elderseam/fleet/lease/TrialDuty.java
@@ -16,8 +16,8 @@
     public enum Standing { CLOSED, HALF_OPEN, OPEN }
 
     private final long idleNs, pauseNs;
-    private long halfOpenSince = -1, pausedUntil = Long.MIN_VALUE, backAt = Long.MIN_VALUE;
-    private boolean open, told;
+    private long halfOpenSince = -1, pausedUntil = Long.MIN_VALUE;
+    private boolean open, told, back;
 
     /** {@code idleNs}: so long a holder may be ready for a trial without one's outcome; {@code pauseNs}: then it does not want the lease. */
     public TrialDuty(long idleNs, long pauseNs) {
@@ -26,8 +26,8 @@
     }
 
     /** The holder has published that the destination is back. */
-    public void back(long now) {
-        backAt = now;
+    public void back() {
+        back = true;
     }
 
     /** {@code holds}: this member has the lease; {@code another}: another is known to have it. */
@@ -42,13 +42,12 @@
         if (!open) {   // a new outage: what was published of the one before says nothing of it
             open = true;
             told = false;
-            backAt = Long.MIN_VALUE;
+            back = false;
         }
         halfOpenSince = standing == Standing.HALF_OPEN ? halfOpenSince < 0 ? now : halfOpenSince : -1;
         if (holds && halfOpenSince >= 0 && now - halfOpenSince > idleNs) {
             pausedUntil = now + pauseNs;
         }
-        boolean back = backAt != Long.MIN_VALUE;
         return new Turn(!back && now >= pausedUntil, !holds && another && !back, false);
     }
 }
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -152,9 +152,7 @@
         history.add("fault", "verb", f.verb(), "words", String.join(" ", f.words()), "whom", String.join(" ", whom));
         long ms = f.words().stream().filter(w -> w.matches("\\d+")).mapToLong(Long::parseLong).findFirst().orElse(0);
         switch (f.verb()) {
-            case "isolate" -> {
-                cut(whom.get(0), true, true);
-            }
+            case "isolate" -> cut(whom.get(0), true, true);
             case "mute" -> cut(whom.get(0), true, false);
             case "deafen" -> cut(whom.get(0), false, true);
             case "partition" -> {
@@ -184,6 +182,9 @@
             case "end" -> {
                 Member m = members.get(whom.get(0));
                 if (m.alive()) {
+                    if (stalled.remove(m.name) != null) {
+                        m.resume();   // a stopped process hears no SIGTERM, and its end would be waited for without end
+                    }
                     history.add("ending", "member", m.name);
                     m.end();
                     history.add("killed", "member", m.name);
@@ -340,10 +341,6 @@
         return outside;
     }
 
-    String holder() {
-        return holder;
-    }
-
     List<String> group() {
         return List.copyOf(group);
     }
--- a/src/main/java/elderseam/wiring/OneTrial.java
+++ b/src/main/java/elderseam/wiring/OneTrial.java
@@ -63,7 +63,7 @@
     void heard(String lease) {
         TrialDuty duty = lease.startsWith(LEASE) ? duties.get(Long.parseLong(lease.substring(LEASE.length()))) : null;
         if (duty != null) {
-            duty.back(clock.now());
+            duty.back();
         }
     }
 }
--- a/src/test/java/elderseam/fleet/rig/OneTrialTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneTrialTest.java
@@ -28,7 +28,7 @@
         assertEquals(new Turn(false, false, false), duty.look(0, Standing.CLOSED, false, false));
         assertEquals(new Turn(true, false, false), duty.look(10, Standing.OPEN, false, false), "no word of the group: its own trial");
         assertEquals(new Turn(true, true, false), duty.look(20, Standing.HALF_OPEN, false, true));
-        duty.back(30);
+        duty.back();
         assertEquals(new Turn(false, false, false), duty.look(40, Standing.HALF_OPEN, false, true));
         assertEquals(new Turn(false, false, false), duty.look(50, Standing.CLOSED, false, false));
         assertTrue(duty.look(60, Standing.OPEN, false, true).defers(), "what was said of one outage says nothing of the next");
