--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -29,7 +29,7 @@
         private int rounds;
         @Option(names = "--seed", defaultValue = "1", description = "of the random faults; one seed gives one schedule (${DEFAULT-VALUE})")
         private long seed;
-        @Option(names = "--plant", paramLabel = "NAME", description = "a fault that a checker must find: no-margin, no-fence or no-heal")
+        @Option(names = "--plant", paramLabel = "NAME", description = "a fault that a checker must find: no-margin, no-fence, no-heal, gossip or gossip-majority")
         private String plant;
         @Option(names = "--folder", paramLabel = "DIR", description = "where histories, logs and the members' folders are left; a temporary one unless told")
         private Path folder;
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -1,9 +1,11 @@
 package elderseam.fleet.rig;
 
 import elderseam.fleet.History;
+import elderseam.gossip.trust.KeyFile;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,11 +21,22 @@
 final class Cluster implements Closeable {
     static final String LEASE = "rehearsal", STORE = "store";
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
-    private static final int PORT = 9_000;
+    private static final int PORT = 9_000, GOSSIP_PORT = 9_500;
 
-    /** What of the program is on: the leases at all, further lines of its [fleet], acts on the store, and whether that has its fence. */
-    record Setup(boolean leases, String lines, boolean acts, boolean fenced) {
+    /**
+     * What of the program is on: the leases at all, further lines of its [fleet], acts on the store, whether that has its fence,
+     * and by which rule a lease on gossip alone is held ("lowest" or "majority"; "": no gossip).
+     */
+    record Setup(boolean leases, String lines, boolean acts, boolean fenced, String gossip) {
         static final Setup USUAL = new Setup(true, "", true, true), OFF = new Setup(false, "", false, true);
+
+        Setup(boolean leases, String lines, boolean acts, boolean fenced) {
+            this(leases, lines, acts, fenced, "");
+        }
+
+        static Setup gossip(String rule) {
+            return new Setup(false, "", false, true, rule);
+        }
     }
 
     private final Plan plan;
@@ -37,6 +50,8 @@
     private final String place;   // a loopback address of this cluster's own: no port of it is another's
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
+    private final Map<String, Gossiping> gossips = new LinkedHashMap<>();
+    private final Map<SocketAddress, String> speakers = new ConcurrentHashMap<>();   // of datagrams: where each speaks from
     private final Map<String, Long> pids = new ConcurrentHashMap<>();
     private final Map<String, Long> stalled = new LinkedHashMap<>();   // until when, of the machine's clock
     private final List<String> group = new ArrayList<>();              // who is in the lease group
@@ -48,6 +63,9 @@
     private final Queue<Process> started = new ConcurrentLinkedQueue<>();
     private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
 
+    /** A member's place in the gossip: its line of the roster, and what stands before it. */
+    private record Gossiping(String line, FaultProxy connections, DatagramProxy datagrams) {}
+
     /** Starts the members and waits until each is ready. */
     Cluster(Plan plan, Path folder, Setup setup) throws IOException {
         this.plan = plan;
@@ -73,6 +91,9 @@
             prepare();
         }
         group.addAll(members.keySet());
+        if (!setup.gossip().isEmpty()) {
+            Files.write(folder.resolve("roster"), gossips.values().stream().map(Gossiping::line).toList());
+        }
         for (Member m : members.values()) {
             configure(m.name);
             start(m);
@@ -99,6 +120,13 @@
         Files.createDirectories(own.resolve("state"));
         Files.writeString(own.resolve("config.json"), outside.config());
         proxies.put(name, new FaultProxy(network, name, new InetSocketAddress(place, PORT + named), () -> pids));
+        if (!setup.gossip().isEmpty()) {
+            InetSocketAddress at = new InetSocketAddress(place, GOSSIP_PORT + named);
+            FaultProxy connections = new FaultProxy(network, name, at, () -> pids);
+            speakers.put(at, name);
+            gossips.put(name, new Gossiping(name + " 127.0.0.0/8 " + KeyFile.make(own.resolve("key")).text(), connections,
+                    new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
+        }
         Member m = new Member(name, own, Map.of("RELAY_NAME", name, "RELAY_LISTEN", "127.0.0.1:0", "RELAY_CONTROL", "127.0.0.1:0", "RELAY_DISCOVERY",
                 outside.address(), "RELAY_STATE", own.resolve("state").toString(), "RELAY_CONFIG", own.resolve("config.json").toString()), line -> said(name, line));
         members.put(name, m);
@@ -122,12 +150,20 @@
     private void configure(String name) throws IOException {
         int number = Integer.parseInt(name.substring(1));
         String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
-        Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
+        Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.gossip().isEmpty() ? gossip(name) : !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
                 + "\nname = " + name + "\nmembers = " + peers + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
                 + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines() + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
                 + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
     }
 
+    private String gossip(String name) {
+        String at = "127.0.0.1:" + gossips.get(name).connections().address().getPort();
+        String seeds = String.join(" ", gossips.values().stream().map(g -> "127.0.0.1:" + g.connections().address().getPort()).filter(a -> !a.equals(at)).toList());
+        return "[gossip]\nlisten = " + place + ":" + (GOSSIP_PORT + Integer.parseInt(name.substring(1))) + "\nadvertise = " + at + "\nname = " + name + "\nkey_file = "
+                + folder.resolve(name).resolve("key") + "\nroster = " + folder.resolve("roster") + "\nseeds = " + seeds
+                + "\n[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n";
+    }
+
     private void start(Member m) throws IOException {
         started.add(m.start());
         pids.put(m.name, m.pid());
@@ -164,8 +200,10 @@
                 }
             }
             case "delay" -> network.delay(ms);
+            case "lose" -> network.lose(ms);   // percent
             case "reset" -> {
                 proxies.values().forEach(FaultProxy::reset);
+                gossips.values().forEach(g -> g.connections().reset());
                 toStore.reset();
             }
             case "stall" -> {
@@ -293,6 +331,19 @@
         }
     }
 
+    /** Waits until a member writes of a lease that it was granted from now on; false where it does not by {@code byNs}. */
+    boolean granted(String name, long byNs) throws IOException {
+        Path lines = folder.resolve(name + ".jsonl");
+        long from = Files.exists(lines) ? Files.size(lines) : 0;
+        while (!Files.exists(lines) || !Files.readString(lines).substring((int) from).contains("\"granted\"")) {
+            if (System.nanoTime() > byNs) {
+                return false;
+            }
+            pause(50);   // a file tells nobody that it has grown
+        }
+        return true;
+    }
+
     /** Waits until so many living members' last word of those that begin with {@code about} is {@code word}; false where it is not by {@code byNs}. */
     boolean say(String about, String word, long count, long byNs) throws IOException {
         synchronized (saying) {
@@ -372,6 +423,10 @@
         for (FaultProxy p : proxies.values()) {
             p.close();
         }
+        for (Gossiping g : gossips.values()) {
+            g.connections().close();
+            g.datagrams().close();
+        }
         toStore.close();
         store.close();
         history.close();
--- a/src/main/java/elderseam/fleet/rig/Fault.java
+++ b/src/main/java/elderseam/fleet/rig/Fault.java
@@ -15,6 +15,7 @@
             Map.entry("mute", "W"),         // what it sends is lost, what it is sent arrives
             Map.entry("deafen", "W"),       // the other way
             Map.entry("delay", "N"),        // every link, so long
+            Map.entry("lose", "P"),         // so many of a hundred datagrams between members, on every link
             Map.entry("reset", ""),         // every connection between members and to the store
             Map.entry("stall", "WN"),       // SIGSTOP, and SIGCONT so much later
             Map.entry("crash", "W"),        // SIGKILL; started again on its folder at the heal, or by restart
@@ -35,6 +36,7 @@
         boolean right = switch (form) {
             case "" -> words.isEmpty();
             case "N" -> words.size() == 1 && number(words.get(0));
+            case "P" -> words.size() == 1 && number(words.get(0)) && Integer.parseInt(words.get(0)) <= 100;
             case "WN" -> words.size() == 2 && words.get(0).matches(WHO) && number(words.get(1));
             case "W+" -> !words.isEmpty() && words.stream().allMatch(w -> w.matches(WHO));
             default -> words.size() == 1 && words.get(0).matches(all.get(0).equals("crash") ? WHO + "|all" : WHO);
@@ -43,6 +45,7 @@
             throw new IllegalArgumentException("'" + text.strip() + "': allowed after " + all.get(0) + ": " + switch (form) {
                 case "" -> "nothing";
                 case "N" -> "milliseconds, 1 to 60000";
+                case "P" -> "percent, 1 to 100";
                 case "WN" -> "whom (holder, leader, other, nK) and milliseconds, 1 to 60000";
                 case "W+" -> "whom, one or more (holder, leader, other, nK)";
                 default -> "whom (holder, leader, other, nK" + (all.get(0).equals("crash") ? ", all)" : ")");
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/fleet/rig/FleetRun.java
@@ -14,7 +14,7 @@
 /** A fleet test: rounds of faults against one cluster, and the checkers' word on its whole history. */
 public final class FleetRun {
     /** The faults that can be planted, each to be caught by one checker. */
-    public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal");
+    public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority");
     /** A test's terms: {@code scenario} a file, or {@code leases}; {@code plant} one of {@link #PLANTS}, or null. */
     public record Terms(String scenario, int rounds, long seed, String plant, Path folder) {}
 
@@ -42,6 +42,9 @@
     }
 
     private static Plan plan(Terms t) throws IOException {
+        if (onGossip(t)) {
+            return Plan.gossip();
+        }
         Plan plan = t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
         return "no-margin".equals(t.plant()) ? plan.withoutMargin() : plan;
     }
@@ -58,6 +61,9 @@
     static Result run(Plan plan, Terms t, Consumer<String> tell) throws IOException {
         Files.createDirectories(t.folder());
         long began = System.nanoTime();
+        if (onGossip(t)) {
+            return gossip(plan, t, t.plant().equals("gossip") ? "lowest" : "majority", tell);
+        }
         try (Cluster c = new Cluster(plan, t.folder(), new Cluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
             c.history().add("healed");   // the first holder is owed as one after a heal is
             c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
@@ -74,13 +80,40 @@
         }
     }
 
-    private static void round(Cluster c, Plan plan, List<Fault> faults, boolean heals) throws IOException {
+    private static boolean onGossip(Terms t) {
+        return t.plant() != null && t.plant().startsWith("gossip");
+    }
+
+    /** Rounds with a lease on gossip alone, held by {@code rule}; nothing acts on it, and lease safety alone is checked. */
+    static Result gossip(Plan plan, Terms t, String rule, Consumer<String> tell) throws IOException {
+        long began = System.nanoTime();
+        try (Cluster c = new Cluster(plan, t.folder(), Cluster.Setup.gossip(rule))) {
+            for (int n = 0; n < t.rounds(); n++) {
+                tell.accept("round " + n + ": " + plan.faults());
+                if (!c.granted("n1", System.nanoTime() + LIVENESS_MS * 1_000_000)) {
+                    throw new IOException("n1 holds no lease on gossip; the histories are in " + t.folder());
+                }
+                play(c, plan, plan.faults());
+                c.heal(true);
+            }
+            Checkers checkers = Checkers.read(c.histories());
+            Result result = new Result(checkers.leaseSafety(), figures(checkers, t, began));
+            result.violations().forEach(tell);
+            return result;
+        }
+    }
+
+    private static void play(Cluster c, Plan plan, List<Fault> faults) throws IOException {
         long began = System.nanoTime(), ends = began + plan.roundMs() * 1_000_000;
         for (Fault f : faults) {
             until(c, began + f.atMs() * 1_000_000);
             c.befall(f);
         }
         until(c, ends);
+    }
+
+    private static void round(Cluster c, Plan plan, List<Fault> faults, boolean heals) throws IOException {
+        play(c, plan, faults);
         c.heal(heals);
         c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);   // none in time is the liveness checker's to tell
     }
--- a/src/main/java/elderseam/fleet/rig/Network.java
+++ b/src/main/java/elderseam/fleet/rig/Network.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 /**
  * The state of every link between named parties, each way by itself: open, or cut; and one delay for all. A cut link holds
@@ -12,7 +13,8 @@
     private record Link(String from, String to) {}
 
     private final Set<Link> cut = new HashSet<>();
-    private long delayMs;
+    private final SplittableRandom random = new SplittableRandom(1);
+    private long delayMs, lossPercent, lost;
 
     /** Cuts what {@code from} sends to {@code to}; the other way is a link of its own. */
     synchronized void cut(String from, String to) {
@@ -23,9 +25,31 @@
         delayMs = ms;
     }
 
+    synchronized long delayMs() {
+        return delayMs;
+    }
+
+    /** So many of a hundred datagrams are lost on every link; connections lose nothing. */
+    synchronized void lose(long percent) {
+        lossPercent = percent;
+    }
+
+    /** Whether one datagram from {@code from} reaches {@code to}. */
+    synchronized boolean datagram(String from, String to) {
+        boolean reaches = open(from, to) && random.nextLong(100) >= lossPercent;
+        lost += reaches ? 0 : 1;
+        return reaches;
+    }
+
+    /** How many datagrams were lost so far. */
+    synchronized long lost() {
+        return lost;
+    }
+
     synchronized void heal() {
         cut.clear();
         delayMs = 0;
+        lossPercent = 0;
         notifyAll();
     }
 
--- a/src/main/java/elderseam/fleet/rig/Plan.java
+++ b/src/main/java/elderseam/fleet/rig/Plan.java
@@ -26,6 +26,11 @@
         return new Plan(3, 1_200, 5, 150, 2_000, Map.of("n1", 105), List.of());
     }
 
+    /** A lease on gossip alone, and a cut for longer than its suspicions last (4 s at three members). */
+    static Plan gossip() {
+        return new Plan(3, 1_200, 5, 150, 12_000, Map.of(), List.of(Fault.parse(500, "isolate n1")));
+    }
+
     /** A file of {@code [fleet NAME]} and {@code [fault NAME]}; every fault of it is told at once. */
     static Plan read(Path file) throws IOException {
         List<String> wrong = new ArrayList<>();
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -67,13 +67,16 @@
     public static final Key<Long> REHEARSAL_CLOCK_PERCENT = Key.whole("rehearsal", "clock_percent", "percent of true time", 50, 150, 100, false);
     public static final Key<Long> REHEARSAL_CLOCK_AHEAD_MS = Key.whole("rehearsal", "clock_ahead_ms", "milliseconds", -3_600_000, 3_600_000, 0, false);
 
+    public static final Key<String> REHEARSAL_GOSSIP_LEASE = Key.text("rehearsal", "gossip_lease", "off, lowest or majority: a lease by what gossip shows alone",
+            "off|lowest|majority", "off", false);
+
     public static final List<Key<?>> ALL = List.of(EVENTS_LISTEN, EVENTS_REMEMBER_S, EVENTS_WEBHOOK_ORIGINS, EVENTS_WEBHOOK_RATE,
             ACME_DIRECTORY, ACME_NAMES, ACME_FOLDER, ACME_CHALLENGES,
             GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
             GOSSIP_WEIGH, RULES_FILES, RULES_ZONE, RULES_BODY_BYTES, RULES_BODY_DEPTH, RULES_FIELD_CHARS, RULES_LIST_ITEMS, RULES_BUDGET, RULES_REQUEST_BUDGET,
             RULES_WINDOW_S, RULES_REMEMBER_S,
             FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
-            REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS);
+            REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS, REHEARSAL_GOSSIP_LEASE);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
             new Contradiction(ACME_DIRECTORY, "is set while events.listen is off, allowed: with a front that serves",
@@ -108,6 +111,8 @@
                     s -> s.get(REHEARSAL_CLOCK_PERCENT) != 100 && s.get(REHEARSAL_HISTORY).isEmpty()),
             new Contradiction(REHEARSAL_CLOCK_AHEAD_MS, "is not 0 without rehearsal.history, allowed: a clock is bent in rehearsals alone",
                     s -> s.get(REHEARSAL_CLOCK_AHEAD_MS) != 0 && s.get(REHEARSAL_HISTORY).isEmpty()),
+            new Contradiction(REHEARSAL_GOSSIP_LEASE, "is set without rehearsal.history or gossip.listen, allowed: in rehearsals of a fleet that gossips",
+                    s -> !s.get(REHEARSAL_GOSSIP_LEASE).equals("off") && (s.get(REHEARSAL_HISTORY).isEmpty() || !gossips(s))),
             new Contradiction(REHEARSAL_STORE, "is set without rehearsal.history or fleet.listen, allowed: acts are made in rehearsals of a fleet alone",
                     s -> !s.get(REHEARSAL_STORE).equals("off") && (s.get(REHEARSAL_HISTORY).isEmpty() || !fleet(s))));
 
--- a/src/main/java/elderseam/wiring/GossipWiring.java
+++ b/src/main/java/elderseam/wiring/GossipWiring.java
@@ -2,8 +2,12 @@
 
 import elderseam.core.Clock;
 import elderseam.core.Relay;
+import elderseam.fleet.History;
+import elderseam.fleet.rig.GossipLease;
 import elderseam.gossip.Agent;
 import elderseam.gossip.Claim;
+import elderseam.gossip.Rumour;
+import elderseam.gossip.Standing;
 import elderseam.gossip.Tempo;
 import elderseam.gossip.net.Opening;
 import elderseam.gossip.net.Post;
@@ -13,6 +17,7 @@
 import elderseam.settings.Keys;
 import elderseam.settings.Settings;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,12 +32,28 @@
     private final Post post;
     private boolean weigh;
 
+    private boolean left;
+
     /** Reads key and roster, and binds; faults end the start. */
     GossipWiring(Io io, Settings s, Relay relay) throws IOException {
         this.opening = Opening.read(s);
         this.relay = relay;
         this.weigh = weighs(s);
         this.post = new Post(io, opening.place(), opening.keys(), Tempo.USUAL, new Post.Ties(this::own, this::advise, words -> System.err.println("gossip: " + words)));
+        if (!s.get(Keys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
+            GossipLease lease = new GossipLease(opening.place().name(), Long.toString(io.clock.wallMs(), 36), s.get(Keys.REHEARSAL_GOSSIP_LEASE).equals("majority"),
+                    opening.keys().roster().all().size(), new History(Path.of(s.get(Keys.REHEARSAL_HISTORY)), opening.place().name()));
+            look(io, lease);
+        }
+    }
+
+    /** A rehearsal's lease by what gossip shows alone. */
+    private void look(Io io, GossipLease lease) {
+        if (!left) {
+            lease.look(post.members().stream().filter(m -> m.standing() == Standing.ALIVE || m.standing() == Standing.SUSPECT).map(Rumour::member).toList(),
+                    io.clock.wallMs());
+            io.at(io.clock.now() + GossipLease.LOOK_NS / 2, () -> look(io, lease));
+        }
     }
 
     private static boolean weighs(Settings s) {
@@ -66,6 +87,7 @@
 
     @Override
     public void leave() {
+        left = true;
         post.leave();
     }
 }
