One member orders the certificate for all, on a lease; its key is passed on sealed

Change: fleet.certificates = one and fleet.certificate_key (off). The stand-in authority counts orders and signs for any time.

--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/acme/Authority.java
@@ -23,6 +23,7 @@
 import java.security.SecureRandom;
 import java.security.Security;
 import java.security.cert.X509Certificate;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
@@ -100,6 +101,8 @@
     private final Connections connections;
     private final Server server;
     private final int challengePort;
+    private final Duration holds;
+    private volatile int ordered, signed;
     private final KeyPair rootKey = KeyPairUtils.createKeyPair(2048);
     private final X509Certificate root = CertificateUtils.createTestRootCertificate("CN=elderseam rehearsal root",
             Instant.now().minus(1, ChronoUnit.DAYS), Instant.now().plus(365, ChronoUnit.DAYS), rootKey);
@@ -108,9 +111,15 @@
     private final List<Authorization> authorizations = new ArrayList<>();
     private final List<Order> orders = new ArrayList<>();
 
-    /** Listens at that address; challenges are looked for at that port of the names ordered. */
+    /** Listens at that address; challenges are looked for at that port of the names ordered; what it signs holds for a week. */
     public Authority(Io io, InetSocketAddress address, int challengePort) throws IOException {
+        this(io, address, challengePort, Duration.ofDays(7));
+    }
+
+    /** {@code holds}: how long what it signs holds, from a minute before it is signed. */
+    public Authority(Io io, InetSocketAddress address, int challengePort, Duration holds) throws IOException {
         this.io = io;
+        this.holds = holds;
         this.challengePort = challengePort;
         this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
         this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
@@ -120,6 +129,16 @@
         return root;
     }
 
+    /** How many orders were placed; any thread may ask. */
+    public int ordered() {
+        return ordered;
+    }
+
+    /** How many certificates it has signed. */
+    public int signed() {
+        return signed;
+    }
+
     public String directory() {
         return url("/directory");
     }
@@ -315,6 +334,7 @@
             authorizations.add(a);
         }
         orders.add(o);
+        ordered = orders.size();
         int i = orders.size() - 1;
         answer(to, 201, Map.of("Location", url("/order/" + i)), node(i, o));
     }
@@ -391,6 +411,7 @@
             }
             o.chain = pem.toString();
             o.status = "valid";
+            signed++;
         } catch (IOException | GeneralSecurityException | IllegalArgumentException e) {
             throw new Problem(400, "badCSR", "no usable certificate request: " + e.getMessage());
         }
@@ -402,7 +423,7 @@
         try {
             return new JcaX509CertificateConverter().getCertificate(new JcaX509v3CertificateBuilder(root,
                     new BigInteger(64, random), Date.from(now.minus(1, ChronoUnit.MINUTES)),
-                    Date.from(now.plus(7, ChronoUnit.DAYS)), csr.getSubject(),
+                    Date.from(now.plus(holds)), csr.getSubject(),
                     new JcaPKCS10CertificationRequest(csr).getPublicKey())
                     .addExtension(Extension.subjectAlternativeName, csr.getSubject().getRDNs().length == 0, names)
                     .build(new JcaContentSignerBuilder("SHA256withRSA").build(rootKey.getPrivate())));
--- a/src/main/java/elderseam/cli/KeysCommand.java
+++ b/src/main/java/elderseam/cli/KeysCommand.java
@@ -1,5 +1,6 @@
 package elderseam.cli;
 
+import elderseam.acme.Seal;
 import elderseam.gossip.Codec;
 import elderseam.gossip.trust.KeyFile;
 import elderseam.gossip.trust.Roster;
@@ -7,6 +8,7 @@
 import java.io.PrintWriter;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -17,7 +19,7 @@
 
 /** Keys of instances, and the roster that names them. */
 @Command(name = "keys", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-        description = "Keys of instances, and the roster that names them.", subcommands = {KeysCommand.New.class, KeysCommand.ListAll.class})
+        description = "Keys of instances, and the roster that names them.", subcommands = {KeysCommand.New.class, KeysCommand.SealKey.class, KeysCommand.ListAll.class})
 final class KeysCommand extends Commands.Group {
     @Command(name = "new", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
             description = "Makes a key in a file that only its owner may read, and tells the line for every roster.")
@@ -50,6 +52,23 @@
         }
     }
 
+    @Command(name = "seal", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Makes a key by which the members of a fleet seal what they pass on; the same file goes to each of them.")
+    static final class SealKey implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "FILE", description = "the key file; it must not be there yet")
+        private Path file;
+
+        @Override
+        public Integer call() throws IOException {
+            try {
+                Seal.make(file, new SecureRandom());
+                return 0;
+            } catch (FileAlreadyExistsException e) {
+                throw new IOException(file + ": there already, a key is not written over");
+            }
+        }
+    }
+
     @Command(name = "list", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
             description = "What a roster says; tells every fault of it, a line each, and exits with 1 where there is one.")
     static final class ListAll implements Callable<Integer> {
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
 /** The processes of one test with the stand-ins round them, and what can be done to them. One thread uses it. */
 final class Cluster implements Closeable {
@@ -24,18 +25,18 @@
     private static final int PORT = 9_000, GOSSIP_PORT = 9_500;
 
     /**
-     * What of the program is on: the leases at all, further lines of its [fleet], acts on the store, whether that has its fence,
+     * What of the program is on: the leases at all, further lines of a member's [fleet] by its name, acts on the store, whether that has its fence,
      * and by which rule a lease on gossip alone is held ("lowest" or "majority"; "": no gossip).
      */
-    record Setup(boolean leases, String lines, boolean acts, boolean fenced, String gossip) {
+    record Setup(boolean leases, UnaryOperator<String> lines, boolean acts, boolean fenced, String gossip) {
         static final Setup USUAL = new Setup(true, "", true, true), OFF = new Setup(false, "", false, true);
 
         Setup(boolean leases, String lines, boolean acts, boolean fenced) {
-            this(leases, lines, acts, fenced, "");
+            this(leases, name -> lines, acts, fenced, "");
         }
 
         static Setup gossip(String rule) {
-            return new Setup(false, "", false, true, rule);
+            return new Setup(false, name -> "", false, true, rule);
         }
     }
 
@@ -152,7 +153,7 @@
         String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
         Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.gossip().isEmpty() ? gossip(name) : !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
                 + "\nname = " + name + "\nmembers = " + peers + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
-                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines() + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
+                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines().apply(name) + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
                 + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
     }
 
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -57,6 +57,8 @@
     public static final Key<List<String>> FLEET_LEASES = Key.words("fleet", "leases", "names apart by spaces", "[A-Za-z0-9._:-]{1,64}", false);
     public static final Key<String> FLEET_DISCOVERY = Key.text("fleet", "discovery", "each, or one: the holder of its lease watches for all", "each|one", "each", false);
     public static final Key<String> FLEET_TRIALS = Key.text("fleet", "trials", "each, or one: the holder of a destination's lease tries it for all", "each|one", "each", false);
+    public static final Key<String> FLEET_CERTIFICATES = Key.text("fleet", "certificates", "each, or one: the holder of its lease orders for all", "each|one", "each", false);
+    public static final Key<String> FLEET_CERTIFICATE_KEY = Key.text("fleet", "certificate_key", "a path", PATH, "", false);
     public static final Key<Long> FLEET_TTL_MS = Key.whole("fleet", "ttl_ms", "milliseconds", 200, 60_000, 5_000, false);
     public static final Key<Long> FLEET_DRIFT_PERCENT = Key.whole("fleet", "drift_percent", "percent", 0, 40, 5, false);
     public static final Key<Long> FLEET_ELECTION_MS = Key.whole("fleet", "election_ms", "milliseconds", 50, 10_000, 500, false);
@@ -75,7 +77,7 @@
             GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
             GOSSIP_WEIGH, RULES_FILES, RULES_ZONE, RULES_BODY_BYTES, RULES_BODY_DEPTH, RULES_FIELD_CHARS, RULES_LIST_ITEMS, RULES_BUDGET, RULES_REQUEST_BUDGET,
             RULES_WINDOW_S, RULES_REMEMBER_S,
-            FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
+            FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_CERTIFICATES, FLEET_CERTIFICATE_KEY, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
             REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS, REHEARSAL_GOSSIP_LEASE);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
@@ -105,6 +107,10 @@
                     .map(m -> m.substring(0, m.indexOf('='))).distinct().count() < s.get(FLEET_MEMBERS).size()),
             new Contradiction(FLEET_DISCOVERY, "is one while fleet.listen is off, allowed: each", s -> !fleet(s) && s.get(FLEET_DISCOVERY).equals("one")),
             new Contradiction(FLEET_TRIALS, "is one while fleet.listen is off, allowed: each", s -> !fleet(s) && s.get(FLEET_TRIALS).equals("one")),
+            new Contradiction(FLEET_CERTIFICATES, "is one while fleet.listen is off or acme.directory is empty, allowed: each",
+                    s -> s.get(FLEET_CERTIFICATES).equals("one") && (!fleet(s) || s.get(ACME_DIRECTORY).isEmpty())),
+            new Contradiction(FLEET_CERTIFICATE_KEY, "is empty, allowed: a key file with fleet.certificates = one, the same on all members",
+                    s -> s.get(FLEET_CERTIFICATES).equals("one") && s.get(FLEET_CERTIFICATE_KEY).isEmpty()),
             new Contradiction(FLEET_ELECTION_MS, "is more than a third of fleet.ttl_ms, allowed: a lease outlasts two elections",
                     s -> fleet(s) && 3 * s.get(FLEET_ELECTION_MS) > s.get(FLEET_TTL_MS)),
             new Contradiction(REHEARSAL_CLOCK_PERCENT, "is not 100 without rehearsal.history, allowed: a clock is bent in rehearsals alone",
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -73,6 +73,7 @@
     private EventsWiring second; // null while it is off
     private Gossip gossip;       // null while it is off
     private Fleet fleet;         // null while it is off
+    private final OneOrder order;   // null where each orders its certificate
     private final List<Server> servers = new ArrayList<>();
     private final long born;
 
@@ -169,9 +170,10 @@
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
         discovery = new Discovery(io, platform, discovery(config), hosts, relay);
         relay.onWatch(discovery::watch);
+        order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
         int eventClients = 0;
         if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
-            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules);
+            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules, order);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
             second.listen();
@@ -186,7 +188,7 @@
 
     private Fleet fleet() throws IOException {
         return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io, settings, config.state(),
-                config.seed(), new FleetWiring.Work(relay, discovery, hosts));
+                config.seed(), new FleetWiring.Work(relay, discovery, hosts, order));
     }
 
     private Server server(int eventClients) throws IOException {
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -43,6 +43,7 @@
     private final Clock clock;
     private final OneWatch watch;   // each null where it is off; both of the I/O thread
     private final OneTrial trials;
+    private final OneOrder order;
     private final Settings settings;
     private final Path folder;
     private final long seed;
@@ -52,8 +53,8 @@
     private volatile String leader = "";
     private volatile boolean left;
 
-    /** What the tasks act on: the relay's breakers, the watch of discovery and the hosts that it lists. */
-    record Work(Relay relay, Discovery discovery, Hosts hosts) {}
+    /** What the tasks act on: the relay's breakers, the watch of discovery, the hosts that it lists, and orders or null. */
+    record Work(Relay relay, Discovery discovery, Hosts hosts, OneOrder order) {}
 
     FleetWiring(Io io, Settings settings, Path state, long seed, Work work) throws IOException {
         this.io = io;
@@ -66,6 +67,10 @@
         this.watch = settings.get(Keys.FLEET_DISCOVERY).equals("one") ? new OneWatch(clock, work.discovery(), this) : null;
         this.trials = settings.get(Keys.FLEET_TRIALS).equals("one")
                 ? new OneTrial(clock, work.relay(), work.hosts(), this, 2 * settings.get(Keys.FLEET_TTL_MS) * Clock.MS) : null;
+        this.order = work.order();
+        if (order != null) {
+            order.joins(this);
+        }
         if (watch != null || trials != null) {
             io.at(clock.now() + LOOK_NS, this::look);
         }
@@ -79,6 +84,9 @@
         if (watch != null && !all.contains(OneWatch.LEASE)) {
             all.add(OneWatch.LEASE);
         }
+        if (order != null) {
+            all.add(order.lease());
+        }
         return all;
     }
 
@@ -95,7 +103,7 @@
         io.at(clock.now() + LOOK_NS, this::look);
     }
 
-    // ---------------------------------------------------------------- for the tasks, on the I/O thread
+    // ---------------------------------------------------------------- for the tasks, on any thread
 
     /** The tenure by which this member may act on a lease now, or null. */
     Tenure tenure(String lease) {
@@ -114,8 +122,8 @@
         }
     }
 
-    void publish(String lease, Tenure by, String value) {
-        group.publish(lease, by.token(), value);
+    CompletableFuture<LeaseTable.Outcome> publish(String lease, Tenure by, String value) {
+        return group.publish(lease, by.token(), value);
     }
 
     private void start() {
@@ -174,6 +182,10 @@
 
         @Override
         public void published(String lease, String value) {
+            if (order != null && lease.equals(order.lease())) {
+                order.heard(value);
+                return;
+            }
             io.run(() -> {
                 if (watch != null && lease.equals(OneWatch.LEASE)) {
                     watch.heard(value);
--- /dev/null
+++ b/src/main/java/elderseam/wiring/OneOrder.java
@@ -0,0 +1,116 @@
+package elderseam.wiring;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import elderseam.acme.Certificates;
+import elderseam.acme.Seal;
+import elderseam.acme.Sharing;
+import elderseam.core.Clock;
+import elderseam.fleet.lease.LeaseTable;
+import elderseam.fleet.lease.OrderDuty;
+import elderseam.fleet.lease.Tenure;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * One member orders the certificate for all, by a lease of its first name; the group's log passes on the answers to the
+ * authority's looks, and the certificate with its key, sealed. Asked on the certificates' thread, and told on any.
+ */
+final class OneOrder implements Sharing {
+    private static final String LEASE = "certificate:";
+    private static final long PASS_S = 10;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
+    private record Passed(String sealed, Map<String, String> answers) {}
+
+    private final String lease;
+    private final Seal seal;
+    private final OrderDuty duty;
+    private volatile FleetWiring fleet;          // null until it is there
+    private volatile Certificates certificates;
+    private volatile Passed newest = new Passed("", Map.of());
+
+    OneOrder(Settings s) throws IOException {
+        this.lease = LEASE + s.get(Keys.ACME_NAMES).get(0);
+        this.seal = Seal.read(Path.of(s.get(Keys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
+        this.duty = new OrderDuty(4 * s.get(Keys.FLEET_TTL_MS));
+    }
+
+    String lease() {
+        return lease;
+    }
+
+    void serves(Certificates certificates) {
+        this.certificates = certificates;
+    }
+
+    void joins(FleetWiring fleet) {
+        this.fleet = fleet;
+    }
+
+    private Tenure tenure() {
+        FleetWiring f = fleet;
+        return f == null ? null : f.tenure(lease);
+    }
+
+    @Override
+    public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
+        FleetWiring f = fleet;
+        boolean mine = duty.own(now.toEpochMilli(), lastAt.toEpochMilli(), tenure() != null, f != null && f.another(lease));
+        if (mine) {
+            System.err.println("fleet: orders the certificate" + (tenure() == null ? " by itself: nobody else has" : ""));
+        }
+        return mine;
+    }
+
+    @Override
+    public void challenges(Map<String, String> answers) {
+        publish(new Passed(newest.sealed(), Map.copyOf(answers)));
+    }
+
+    @Override
+    public boolean pass(byte[] bundle) {
+        return publish(new Passed(seal.close(bundle, lease), Map.of()));
+    }
+
+    /** Whether the group took it from this member as the holder. */
+    private boolean publish(Passed passed) {
+        Tenure t = tenure();
+        if (t == null) {
+            return false;
+        }
+        try {
+            LeaseTable.Outcome o = fleet.publish(lease, t, JSON.writeValueAsString(passed)).get(PASS_S, TimeUnit.SECONDS);
+            return o.granted();
+        } catch (ExecutionException | TimeoutException | IOException | IllegalArgumentException e) {
+            System.err.println("fleet: the certificate is not passed on: " + e.getMessage());
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** What the holder has passed on, this member's own words among it. */
+    void heard(String value) {
+        try {
+            Passed passed = JSON.readValue(value, Passed.class);
+            boolean fresh = !passed.sealed().isEmpty() && !passed.sealed().equals(newest.sealed());
+            newest = passed;
+            Certificates c = certificates;
+            if (c != null) {
+                c.heard(passed.answers(), fresh ? seal.open(passed.sealed(), lease) : null);
+            }
+        } catch (IOException e) {
+            System.err.println("fleet: a certificate that was passed on can't be used: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/rig/OneOrderTest.java
@@ -0,0 +1,121 @@
+package elderseam.fleet.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.acme.AcmeTest;
+import elderseam.acme.Authority;
+import elderseam.acme.Seal;
+import elderseam.core.Clock;
+import elderseam.fleet.lease.OrderDuty;
+import elderseam.http.Io;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One member orders the certificate for all, on three real processes and the stand-in authority, which asks one of them alone. */
+class OneOrderTest {
+    private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
+
+    @TempDir
+    Path folder;
+
+    private static long by(long seconds) {
+        return System.nanoTime() + seconds * 1_000_000_000L;
+    }
+
+    private Cluster.Setup setup(Authority authority, int port, Path key) {
+        return new Cluster.Setup(true, name -> "certificates = one\ncertificate_key = " + key + "\n[events]\nlisten = 127.0.0.1:0\n[acme]\ndirectory = "
+                + authority.directory() + "\nnames = localhost\nfolder = " + folder.resolve(name + "-certificate") + "\nchallenges = 127.0.0.1:"
+                + (name.equals("n1") ? port : 0) + "\n", false, true, "");
+    }
+
+    private static String holder(Cluster c) throws IOException {
+        for (String name : c.group()) {
+            if (c.member(name).alive() && c.member(name).told("FLEET").contains("lease.certificate:localhost=held")) {
+                return name;
+            }
+        }
+        return "n1";   // just now nobody does: then nothing of who holds it is shown
+    }
+
+    private Set<String> chains(List<String> group) throws IOException {
+        Set<String> all = new HashSet<>();
+        for (String name : group) {
+            Path chain = folder.resolve(name + "-certificate").resolve("chain.pem");
+            all.add(Files.exists(chain) ? Files.readString(chain) : "");
+        }
+        return all;
+    }
+
+    /** Waits until all serve one chain that is another than {@code before}. */
+    private String one(Cluster c, String before, long byNs) throws Exception {
+        List<String> living = c.group().stream().filter(g -> c.member(g).alive()).toList();
+        Set<String> now = chains(living);
+        while (now.size() != 1 || now.contains("") || now.contains(before)) {
+            assertTrue(System.nanoTime() < byNs, "no one chain on all: " + now.size());
+            Cluster.pause(50);   // files tell nobody of a change
+            now = chains(living);
+        }
+        return now.iterator().next();
+    }
+
+    @Test
+    void oneOrdersRenewsAndAnotherAfterIt() throws Exception {
+        int port = AcmeTest.freePort();
+        Authority authority = new Authority(new Io(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port, Duration.ofSeconds(45));
+        Path key = folder.resolve("seal");
+        Seal.make(key, new SecureRandom());
+        try (Cluster c = new Cluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
+            String first = one(c, "", by(60));
+            assertEquals(1, authority.ordered(), "one order for three members");
+            if (holder(c).equals("n1")) {   // the renewal is another's, while the authority goes on asking n1
+                c.befall(Fault.parse(0, "end n1"));
+                c.heal(true);
+            }
+            String second = one(c, first, by(60));   // due after 10 s: a third is left of 105 s, of which a minute had passed
+            assertEquals(2, authority.signed(), "one renewal for three members");
+            String holder = holder(c);
+            if (!holder.equals("n1")) {
+                c.befall(Fault.parse(0, "crash " + holder));
+            }
+            one(c, second, by(60));
+            assertEquals(3, authority.signed(), "and one by whoever holds the lease after a crash");
+            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+        }
+    }
+
+    @Test
+    void whoOrdersAndWhen() {
+        OrderDuty duty = new OrderDuty(1_000);
+        assertTrue(duty.own(0, 10_000, true, false));
+        assertTrue(!duty.own(100, 10_000, false, true), "another orders");
+        assertTrue(!duty.own(5_000, 10_000, false, false) && !duty.own(5_999, 10_000, false, false) && duty.own(6_000, 10_000, false, false), "nobody known for 1 s");
+        assertTrue(!duty.own(6_100, 10_000, false, true) && duty.own(10_000, 10_000, false, true), "the last instant waits for nobody");
+    }
+
+    @Test
+    void aSealOpensByItsKeyAndForItsMatterAlone() throws Exception {
+        SecureRandom random = new SecureRandom();
+        Seal.make(folder.resolve("a"), random);
+        Seal.make(folder.resolve("b"), random);
+        Seal a = Seal.read(folder.resolve("a"), random), b = Seal.read(folder.resolve("b"), random);
+        String text = a.close(new byte[] {1, 2, 3}, "x");
+        assertEquals(3, a.open(text, "x").length);
+        assertThrows(IOException.class, () -> a.open(text, "y"));
+        assertThrows(IOException.class, () -> b.open(text, "x"));
+        assertThrows(IOException.class, () -> a.open("AAAA" + text.substring(4), "x"));
+        assertThrows(IOException.class, () -> a.open("AAAA", "x"));
+    }
+}
