--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -18,6 +18,7 @@
         }
     }
 
+    private final Sender.Settings settings;
     private final Brain brain;
     private final Consumer<String> log;
     private final ArrayDeque<Decision> decisions = new ArrayDeque<>();
@@ -27,9 +28,14 @@
 
     Facade(Sender.Settings settings, long seed, Consumer<String> log) {
         this.log = log;
+        this.settings = settings;
         this.brain = new Brain(settings, seed, new Recorder());
     }
 
+    Sender.Settings settings() {
+        return settings;
+    }
+
     private void at(long time) {
         now = Math.max(now, time);
         news = true;
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -3,6 +3,8 @@
 import elderseam.core.UpstreamRequest.End;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
+import elderseam.module.Sender;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,12 +24,18 @@
     /** All that the next process needs besides the journal. */
     public record Estate(byte[] learned, List<Out> out) {}
 
+    private static final long LEAST_DISK = 1 << 20;
+    private static final String LEARNED = "learned";
+    private static final int LAYOUT = 1;   // of the ledger that the module writes; another one is not read
+    private static final long KEEP_NS = 1_000 * Clock.MS;
+
     private final Relay relay;
     private final Attempts attempts;
     private final Facade facade;
     private final Journal journal;
     private final Clock clock;
     private final Loop loop;
+    private Learned learned;
     private final Set<String> adopted = new HashSet<>();   // out at the process before this one
     private Consumer<Passed> successor;   // once another process has taken over: it decides, this one tells it
 
@@ -90,6 +98,59 @@
         Attempts.abandon(relay.stream(id), attempt);
     }
 
+    // ---------------------------------------------------------------- over a crash
+
+    /** What is set aside, of so much disk, for what is learned; nothing of a disk that is small for the journal itself. */
+    public static int aside(long diskBytes) {
+        return diskBytes < LEAST_DISK ? 0 : Learned.MOST;
+    }
+
+    /**
+     * Takes up what an earlier process on this folder had learned less than a minute ago, before the first list, and keeps what
+     * this one learns from now on, once a second.
+     */
+    public void remember() {
+        try {
+            byte[] kept = new Learned(journal.aside(LEARNED), shape()).kept();
+            LedgerBytes.Reader reader = kept == null ? null : new LedgerBytes.Reader(kept, clock);
+            if (reader != null && reader.agoNs >= 0 && reader.agoNs < Learned.FRESH_NS) {
+                facade.carry(clock.now(), reader);
+            }
+        } catch (IOException e) {
+            System.err.println("what was learned is not taken up: " + e);
+        }
+        keepOn();
+    }
+
+    /** The same for a process that has taken over from one that lived: it has all of that by {@link #takeOver}. */
+    public void keepOn() {
+        try {
+            learned = new Learned(journal.aside(LEARNED), shape());
+            loop.at(clock.now() + KEEP_NS, this::keepLearned);
+        } catch (IOException e) {
+            System.err.println("what was learned is not kept: " + e);
+        }
+    }
+
+    private int shape() {
+        Sender.Settings s = facade.settings();
+        return LAYOUT << 24 | s.classes().size() << 16 | s.kinds().size() << 8 | s.tenantRates().size();
+    }
+
+    private void keepLearned() {
+        if (!passedOn()) {
+            LedgerBytes.Writer writer = new LedgerBytes.Writer(clock);
+            facade.carry(clock.now(), writer);
+            try {
+                learned.keep(writer.bytes());
+            } catch (IOException e) {
+                System.err.println("what was learned is not kept: " + e);
+                return;
+            }
+        }
+        loop.at(clock.now() + KEEP_NS, this::keepLearned);
+    }
+
     // ---------------------------------------------------------------- the newer process
 
     /** The streams whose calls are out at the process before this one. */
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -48,6 +48,11 @@
         replay();
     }
 
+    /** What is kept beside the journal under that name. */
+    JournalStore aside(String name) throws IOException {
+        return store.aside(name);
+    }
+
     // ---------------------------------------------------------------- what is told
 
     /** False where there is no room: then nothing was written. */
--- a/src/main/java/elderseam/core/JournalFiles.java
+++ b/src/main/java/elderseam/core/JournalFiles.java
@@ -54,6 +54,11 @@
         channel.truncate(length);
     }
 
+    @Override
+    public JournalStore aside(String name) throws IOException {
+        return new JournalFiles(file.resolveSibling(name), false);
+    }
+
     @Override
     public JournalStore fresh() throws IOException {
         return new JournalFiles(spare(), true);
--- a/src/main/java/elderseam/core/JournalStore.java
+++ b/src/main/java/elderseam/core/JournalStore.java
@@ -16,6 +16,9 @@
 
     void truncate(long length) throws IOException;
 
+    /** What is kept beside this one under that name, as it was left. */
+    JournalStore aside(String name) throws IOException;
+
     /** An empty one beside this one. */
     JournalStore fresh() throws IOException;
 
--- a/src/main/java/elderseam/core/LedgerBytes.java
+++ b/src/main/java/elderseam/core/LedgerBytes.java
@@ -72,10 +72,13 @@
     static final class Reader implements Ledger {
         private final DataInputStream in;
         private final long shift;
+        /** How long ago it was written, by the wall clock. */
+        final long agoNs;
 
         Reader(byte[] bytes, Clock clock) {
             in = new DataInputStream(new ByteArrayInputStream(bytes));
             long theirs = whole(0), wallMs = whole(0);
+            agoNs = (clock.wallMs() - wallMs) * Clock.MS;
             long by = clock.now() - theirs - (clock.wallMs() - wallMs) * Clock.MS;
             shift = Math.abs(by) < SAME_NS ? 0 : by;
         }
--- a/src/main/java/elderseam/emulator/MemoryStore.java
+++ b/src/main/java/elderseam/emulator/MemoryStore.java
@@ -10,6 +10,7 @@
 public final class MemoryStore implements JournalStore {
     /** What a policy that is spared the loss of its messages keeps. */
     final Map<String, PlainInstance.Held> kept = new LinkedHashMap<>();
+    private final Map<String, MemoryStore> aside = new LinkedHashMap<>();
     private byte[] bytes = new byte[1 << 12];
     private int length;
 
@@ -43,6 +44,11 @@
         length = (int) Math.min(length, to);
     }
 
+    @Override
+    public JournalStore aside(String name) {
+        return aside.computeIfAbsent(name, n -> new MemoryStore());
+    }
+
     @Override
     public JournalStore fresh() {
         return new MemoryStore();
--- a/src/main/java/elderseam/emulator/ModuleInstance.java
+++ b/src/main/java/elderseam/emulator/ModuleInstance.java
@@ -42,7 +42,8 @@
     private final Place place;
     private final Relay relay;
 
-    ModuleInstance(Place place, MemoryStore store, long seed) {
+    /** {@code remembers}: what it learns outlasts its process. */
+    ModuleInstance(Place place, MemoryStore store, long seed, boolean remembers) {
         this.place = place;
         Clock clock = new Virtual(place.time());
         try {
@@ -52,6 +53,9 @@
             throw new UncheckedIOException(e);   // memory does not fail so
         }
         relay.front((byte) 0, this, this);
+        if (remembers) {
+            relay.handover().remember();
+        }
     }
 
     @Override
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -24,7 +24,8 @@
     private static final Map<String, Maker> ALL = new LinkedHashMap<>();
 
     static {
-        ALL.put("module", ModuleInstance::new);
+        ALL.put("module", (place, store, seed) -> new ModuleInstance(place, store, seed, true));
+        ALL.put("forgets", (place, store, seed) -> new ModuleInstance(place, store, seed, false));   // what it learned, at each end of a process
         ALL.put("robin", (place, store, seed) -> new PlainInstance(place, new Plain.RoundRobin()));
         ALL.put("least", (place, store, seed) -> new PlainInstance(place, new Plain.LeastInFlight()));
         ALL.put("bucket", (place, store, seed) -> new PlainInstance(place, new Plain.TokenBucket()));
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -49,6 +49,8 @@
 
     private static final String PLACE = "([0-9.]+|\\[[0-9a-fA-F:.]+]):\\d{1,5}";
 
+    public static final Key<String> STATE_LEARNED = Key.text("state", "learned", "kept, or forgotten at each end of a process", "kept|forgotten", "kept", false);
+
     public static final Key<String> FLEET_LISTEN = Key.listen("fleet", "listen");
     public static final Key<String> FLEET_NAME = Key.text("fleet", "name", "1 to 64 of A-Z a-z 0-9 . _ -", NAME, "", false);
     public static final Key<String> FLEET_GROUP = Key.text("fleet", "group", "1 to 64 of A-Z a-z 0-9 . _ -", NAME, "elderseam", false);
@@ -77,7 +79,7 @@
             GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
             GOSSIP_WEIGH, RULES_FILES, RULES_ZONE, RULES_BODY_BYTES, RULES_BODY_DEPTH, RULES_FIELD_CHARS, RULES_LIST_ITEMS, RULES_BUDGET, RULES_REQUEST_BUDGET,
             RULES_WINDOW_S, RULES_REMEMBER_S,
-            FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_CERTIFICATES, FLEET_CERTIFICATE_KEY, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
+            STATE_LEARNED, FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_CERTIFICATES, FLEET_CERTIFICATE_KEY, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
             REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS, REHEARSAL_GOSSIP_LEASE);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -111,7 +111,7 @@
         Io io = new Io(clock);
         ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
         Accession.Won won = Accession.seek(io, config);
-        Journal journal = new Journal(config.state(), config.limits().diskBytes(), clock);
+        Journal journal = new Journal(config.state(), config.limits().diskBytes() - Handover.aside(config.limits().diskBytes()), clock);
         io.run(() -> {
             try {
                 new Daemon(config, told, settingsFile, journal, io, control, inherited, won, born).begin(variables);
@@ -208,11 +208,17 @@
     /** Ends that are known and the first calls go out before anything that waits at the port is read. */
     private void begin(Map<String, String> variables) throws IOException {
         if (won.given() == null) {
+            if (remembers()) {
+                relay.handover().remember();
+            }
             discovery.known(config.known());
             relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(), config.settings().names("services").get(0),
                     this::ready));
         } else {
             takeOver(won.given());
+            if (remembers()) {
+                relay.handover().keepOn();
+            }
         }
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
@@ -226,6 +232,11 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
+    /** Whether what is learned outlasts the process. */
+    private boolean remembers() {
+        return settings.get(Keys.STATE_LEARNED).equals("kept") && Handover.aside(config.limits().diskBytes()) > 0;
+    }
+
     private void ready() {
         life.started();
         System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for " + io.longestAway() / Clock.MS
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -153,6 +153,11 @@
         int[] writes = new int[1];   // so many more succeed
         MemoryStore memory = new MemoryStore();
         relay = another(new Journal(new JournalStore() {
+            @Override
+            public JournalStore aside(String name) {
+                return new MemoryStore();
+            }
+
             public long length() {
                 return memory.length();
             }
@@ -399,4 +404,56 @@
         assertEquals(64, ended.size());
         assertEquals(0, relay.held());
     }
+
+    // ---------------------------------------------------------------- what was learned, over a crash
+
+    private Sender.Standing standing(Relay of) {
+        Sender.Standing[] s = new Sender.Standing[1];
+        of.breakers((destination, b) -> s[0] = b.standing());
+        return s[0];
+    }
+
+    /** Four failures in a row trip the breaker; a second later that is kept. */
+    private void trips() throws Exception {
+        relay.handover().remember();
+        for (int i = 0; i < 4; i++) {
+            take("m" + i);
+            out.get(out.size() - 1).accept(new End(Progress.NOT_CONNECTED, Status.BROKEN, 0, 0, 0));
+        }
+        assertEquals(Sender.Standing.OPEN, standing(relay));
+        List.copyOf(timers).forEach(Runnable::run);   // the keeping is among them
+    }
+
+    /** The next process on the folder; {@code list}: what it knows of hosts. */
+    private Relay next() throws Exception {
+        Relay next = another();
+        next.handover().remember();
+        next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        return next;
+    }
+
+    @Test
+    void aBreakerOutlastsTheProcess() throws Exception {
+        trips();
+        assertEquals(Sender.Standing.OPEN, standing(next()), "the next process does not begin by knocking");
+    }
+
+    @Test
+    void whatIsTornOldOrOfOtherSettingsIsPassedOver() throws Exception {
+        trips();
+        Path file = folder.resolve("learned");
+        byte[] kept = Files.readAllBytes(file);
+        byte[] torn = kept.clone();
+        torn[40] ^= 1;
+        for (byte[] bytes : List.of(torn, new byte[0], java.util.Arrays.copyOf(kept, 30), new byte[Learned.MOST + 1])) {
+            Files.write(file, bytes);
+            assertEquals(Sender.Standing.CLOSED, standing(next()), bytes.length + " bytes");
+        }
+        JournalStore store = new MemoryStore();
+        new Learned(store, 7).keep(new byte[] {1, 2, 3});
+        assertEquals(3, new Learned(store, 7).kept().length);
+        assertNull(new Learned(store, 8).kept());
+        new Learned(store, 7).keep(new byte[Learned.MOST]);
+        assertEquals(3, new Learned(store, 7).kept().length, "one that is too long is left out");
+    }
 }
