--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -3,6 +3,7 @@
 import elderseam.emulator.Plan;
 import elderseam.emulator.PlanFile;
 import elderseam.emulator.Policies;
+import elderseam.fleet.share.Subsets;
 import elderseam.lab.Compare;
 import elderseam.lab.Find;
 import elderseam.lab.Report;
@@ -29,7 +30,8 @@
 
 /** Experiments on the emulator. */
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class, description = "Experiments on an emulated world.",
-        subcommands = {LabCommand.RunCommand.class, LabCommand.SweepCommand.class, LabCommand.CompareCommand.class, LabCommand.FindCommand.class})
+        subcommands = {LabCommand.RunCommand.class, LabCommand.SweepCommand.class, LabCommand.CompareCommand.class, LabCommand.FindCommand.class,
+            LabCommand.SubsetsCommand.class})
 final class LabCommand extends Commands.Group {
     private static String known(CommandSpec spec, String policy) {
         if (!Policies.names().contains(policy)) {
@@ -212,4 +214,54 @@
             return 0;
         }
     }
+
+    @Command(name = "subsets", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Ways to choose subsets side by side: how even they are, and what moves as members come and go.")
+    static final class SubsetsCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--members", split = ",", defaultValue = "8,30,100,300,1000", description = "sizes of the fleet (${DEFAULT-VALUE})")
+        private List<Integer> members;
+        @Option(names = "--endpoints", defaultValue = "14", description = "1 to 1000 (${DEFAULT-VALUE})")
+        private int endpoints;
+        @Option(names = "--size", defaultValue = "4", description = "of a subset (${DEFAULT-VALUE})")
+        private int size;
+
+        @Override
+        public Integer call() {
+            if (endpoints < 1 || endpoints > 1_000 || size < 1 || size > endpoints || members.stream().anyMatch(n -> n < 2 || n > 2_000)) {
+                throw new ParameterException(spec.commandLine(), "allowed: 1 to 1000 endpoints, a size of 1 to their number, 2 to 2000 members");
+            }
+            PrintWriter out = spec.commandLine().getOut();
+            List<String> hosts = names("s", endpoints);
+            out.printf("%-10s %8s %14s %12s %12s %14s%n", "way", "members", "max over mean", "one joins", "one leaves", "endpoint fails");
+            for (Subsets.Way way : Subsets.Way.values()) {
+                for (int n : members) {
+                    Map<String, List<String>> now = Subsets.all(way, names("m", n), hosts, size);
+                    double joins = Subsets.moved(now, Subsets.all(way, names("m", n + 1), hosts, size)), leaves = 0, fails = 0;
+                    for (int i = 0; i < SAMPLES; i++) {   // whoever it is that goes
+                        List<String> rest = names("m", n);
+                        rest.remove(i * n / SAMPLES);
+                        leaves += Subsets.moved(now, Subsets.all(way, rest, hosts, size)) / SAMPLES;
+                        List<String> left = names("s", endpoints);
+                        left.remove(i * endpoints / SAMPLES);
+                        fails += Subsets.moved(now, Subsets.all(way, names("m", n), left, Math.min(size, left.size()))) / SAMPLES;
+                    }
+                    out.printf(Locale.ROOT, "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n", way.name().toLowerCase(Locale.ROOT), n,
+                            Subsets.unevenness(now, hosts), 100 * joins, 100 * leaves, 100 * fails);
+                }
+            }
+            return 0;
+        }
+
+        private static final int SAMPLES = 8;
+
+        private static List<String> names(String of, int n) {
+            List<String> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                all.add(of + i);
+            }
+            return all;
+        }
+    }
 }
--- a/src/main/java/elderseam/control/Command.java
+++ b/src/main/java/elderseam/control/Command.java
@@ -22,6 +22,11 @@
     /** The fleet's leases; {@code members}: which members the group is to have, by name, or none told where it is only asked about. */
     record Fleet(Map<String, InetSocketAddress> members) implements Command {}
 
+    /** Versions of what the fleet agrees on; {@code a} and {@code b} are numbers, {@code path} a file on this machine. */
+    record Config(Verb verb, long a, long b, String path, String note) implements Command {
+        public enum Verb { STATUS, DIFF, PROPOSE, ROLLBACK }
+    }
+
     /** No command; {@code why}: what is wrong, and what is allowed. */
     record Fault(String why) implements Command {}
 
@@ -35,6 +40,9 @@
         if (id != null && !id.matches("[!-~]{1,200}")) {
             return new Fault("an id has 1 to 200 printable characters");
         }
+        if (words[0].equals("CONFIG")) {
+            return config(line.strip().substring("CONFIG".length()).strip());
+        }
         if (words[0].equals("FLEET")) {
             return fleet(Arrays.copyOfRange(words, 1, words.length));
         }
@@ -46,8 +54,8 @@
             case "REJOIN" -> alone ? new Rejoin() : noWords("REJOIN");
             case "DETACH" -> id != null ? new Detach(id) : new Fault("DETACH takes one id");
             case "ATTACH" -> id != null ? new Attach(id) : new Fault("ATTACH takes one id");
-            case "" -> new Fault("the line is empty; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET");
-            default -> new Fault("unknown call; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET");
+            case "" -> new Fault("the line is empty; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
+            default -> new Fault("unknown call; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
         };
     }
 
@@ -65,6 +73,21 @@
         return new Fleet(members);
     }
 
+    private static Command config(String rest) {
+        String[] w = rest.split("[ \t]+", 4);
+        String number = "\\d{1,18}";
+        if (rest.isEmpty()) {
+            return new Config(Config.Verb.STATUS, 0, 0, "", "");
+        } else if (w[0].equals("DIFF") && w.length == 3 && w[1].matches(number) && w[2].matches(number)) {
+            return new Config(Config.Verb.DIFF, Long.parseLong(w[1]), Long.parseLong(w[2]), "", "");
+        } else if (w[0].equals("PROPOSE") && w.length == 4 && w[1].matches(number) && w[2].startsWith("/")) {
+            return new Config(Config.Verb.PROPOSE, Long.parseLong(w[1]), 0, w[2], w[3]);
+        } else if (w[0].equals("ROLLBACK") && w.length >= 3 && w[1].matches(number)) {
+            return new Config(Config.Verb.ROLLBACK, Long.parseLong(w[1]), 0, "", rest.substring(rest.indexOf(w[1]) + w[1].length()).strip());
+        }
+        return new Fault("allowed: CONFIG, CONFIG DIFF A B, CONFIG PROPOSE PARENT /FILE NOTE, CONFIG ROLLBACK VERSION NOTE");
+    }
+
     private static Fault noWords(String name) {
         return new Fault(name + " takes no words");
     }
--- a/src/main/java/elderseam/control/Operators.java
+++ b/src/main/java/elderseam/control/Operators.java
@@ -13,16 +13,18 @@
     private final List<String> classes;
     private final Runnable drain, rejoin;
     private final Function<Command.Fleet, Verdict> fleet;
+    private final Function<Command.Config, Verdict> config;
 
-    /** {@code drain} and {@code rejoin}: what follows for the connections of clients; {@code fleet} answers for the leases, or is null. */
+    /** {@code drain} and {@code rejoin}: what follows for the connections of clients; {@code fleet} answers for the leases, and {@code config} for the versions, or is null. */
     public Operators(Relay relay, Lifecycle life, List<String> classes, Runnable drain, Runnable rejoin,
-                     Function<Command.Fleet, Verdict> fleet) {
+                     Function<Command.Fleet, Verdict> fleet, Function<Command.Config, Verdict> config) {
         this.relay = relay;
         this.life = life;
         this.classes = classes;
         this.drain = drain;
         this.rejoin = rejoin;
         this.fleet = fleet;
+        this.config = config;
     }
 
     public Verdict carryOut(Command command) {
@@ -40,6 +42,8 @@
             return detach(a.host(), false);
         } else if (command instanceof Command.Fleet f) {
             return fleet == null ? Verdict.no("this process is in no fleet; fleet.listen is off") : fleet.apply(f);
+        } else if (command instanceof Command.Config c) {
+            return config == null ? Verdict.no("this process agrees on no versions; fleet.versions_bound_ms is 0") : config.apply(c);
         } else if (command instanceof Command.LameDuck) {
             if (life.drain()) {
                 drain.run();
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** The module in blocking style: {@link #report} what happened, {@link #tick} the clock, {@link #pick} what to do. */
 final class Facade {
@@ -143,6 +144,12 @@
         brain.advised(now, destination, doubt, trying);
     }
 
+    /** What this dispatcher's part is of what all do, as {@link Sender.Events#part} has it. */
+    void part(long time, int senders, Predicate<String> preferred, double retries) {
+        at(time);
+        brain.part(now, senders, preferred, retries);
+    }
+
     /** The list of hosts changed, was told whole, or could not be had. */
     void report(long time, Sender.ListKind kind, List<Sender.Endpoint> hosts) {
         at(time);
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.IntSupplier;
 
 /**
@@ -275,6 +276,12 @@
         facade.advise(clock.now(), destination, doubt, trying);
     }
 
+    /** What this dispatcher's part is of what all do, until told otherwise: as {@link Sender.Events#part} has it. */
+    public void part(int senders, Predicate<String> preferred, double retries) {
+        facade.part(clock.now(), senders, preferred, retries);
+        turn();
+    }
+
     /** Nothing begins at these hosts for so long, as after a told wait: another dispatcher tries them for the whole fleet. */
     public void defer(List<String> hosts, long ns) {
         hosts.forEach(h -> facade.defer(clock.now(), h, ns));
--- a/src/main/java/elderseam/emulator/Instance.java
+++ b/src/main/java/elderseam/emulator/Instance.java
@@ -23,6 +23,11 @@
         /** What it may know of a destination that nobody else does: for the oracle alone. */
         Destination destination(long id);
 
+        /** Its number in the fleet, and what it sees of the others. */
+        int number();
+
+        Shares.View view();
+
         /** A task of this life of its process: it is not run once the process has ended. */
         void at(long time, Runnable task);
     }
--- a/src/main/java/elderseam/emulator/ModuleInstance.java
+++ b/src/main/java/elderseam/emulator/ModuleInstance.java
@@ -41,9 +41,10 @@
 
     private final Place place;
     private final Relay relay;
+    private final Shares shares;   // null: as the settings told once and for all
 
-    /** {@code remembers}: what it learns outlasts its process. */
-    ModuleInstance(Place place, MemoryStore store, long seed, boolean remembers) {
+    /** {@code remembers}: what it learns outlasts its process; {@code shares}: it is told its part of what all do. */
+    ModuleInstance(Place place, MemoryStore store, long seed, boolean remembers, boolean shares) {
         this.place = place;
         Clock clock = new Virtual(place.time());
         try {
@@ -56,6 +57,7 @@
         if (remembers) {
             relay.handover().remember();
         }
+        this.shares = shares ? new Shares(place, relay) : null;
     }
 
     @Override
@@ -68,6 +70,9 @@
     public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
         boolean first = kind == Sender.ListKind.WHOLE;
         relay.hosts(kind, list);
+        if (shares != null) {
+            shares.hosts(kind, list);
+        }
         if (first) {
             relay.recover(() -> 0, () -> { });
         }
--- a/src/main/java/elderseam/emulator/Network.java
+++ b/src/main/java/elderseam/emulator/Network.java
@@ -64,6 +64,9 @@
             } else {
                 time.at(time.now() + connect, this::leave);
             }
+            if (to != null && !idle) {
+                watcher.connects(time.now(), dispatcher, name, time.now() + connect + to.kind.idleMs() * MS);
+            }
             if (to != null) {
                 idleUntil.put(pair, time.now() + connect + to.kind.idleMs() * MS);
             }
--- a/src/main/java/elderseam/emulator/Plan.java
+++ b/src/main/java/elderseam/emulator/Plan.java
@@ -5,8 +5,11 @@
 /** All of an experiment but its seed and its policy. Times are seconds from the start unless they say otherwise. */
 public record Plan(String name, double seconds, Fleet fleet, List<Kind> kinds, List<Trouble> troubles, Clients clients, List<Flood> floods,
                    List<Restart> restarts, List<Drain> drains, Network network, Discovery discovery) {
-    /** {@code slots}: calls out at once, each; {@code held}: messages held at most, each. */
-    public record Fleet(int dispatchers, int slots, int held, int attempts) {}
+    /**
+     * {@code slots}: calls out at once, each; {@code held}: messages held at most, each; {@code connections}: what an endpoint takes of
+     * all dispatchers, by which subsets are sized, 0 where nobody knows; {@code hot}: how many times the others' traffic the first has.
+     */
+    public record Fleet(int dispatchers, int slots, int held, int attempts, int connections, double hot) {}
 
     public enum Limit { NONE, RATE, WINDOW }
 
--- a/src/main/java/elderseam/emulator/PlanFile.java
+++ b/src/main/java/elderseam/emulator/PlanFile.java
@@ -55,7 +55,7 @@
         Section scenario = one("scenario"), fleet = one("fleet"), clients = one("clients"), network = one("network"), discovery = one("discovery");
         Plan plan = new Plan(scenario == null ? "" : scenario.name(), number(scenario, "seconds", 0.1, 1_000_000, 60),
                 new Plan.Fleet(whole(fleet, "dispatchers", 1, 1_000, 4), whole(fleet, "slots", 1, 100_000, 64), whole(fleet, "held", 1, 1_000_000, 400),
-                        whole(fleet, "attempts", 1, 1_000, 8)),
+                        whole(fleet, "attempts", 1, 1_000, 8), whole(fleet, "connections", 0, 1_000_000, 0), number(fleet, "hot", 1, 100, 1)),
                 all("kind").stream().map(this::kind).toList(), all("trouble").stream().map(this::trouble).toList(), clients(clients),
                 all("flood").stream().map(s -> new Plan.Flood(s.name(), whole(s, "tenant", 1, 100, 1), number(s, "factor", 0, 1_000, 5.9), number(s, "at", 0, 1e6, 0),
                         number(s, "for", 0, 1e6, 1e6))).toList(),
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -24,8 +24,9 @@
     private static final Map<String, Maker> ALL = new LinkedHashMap<>();
 
     static {
-        ALL.put("module", (place, store, seed) -> new ModuleInstance(place, store, seed, true));
-        ALL.put("forgets", (place, store, seed) -> new ModuleInstance(place, store, seed, false));   // what it learned, at each end of a process
+        ALL.put("module", (place, store, seed) -> new ModuleInstance(place, store, seed, true, false));
+        ALL.put("shares", (place, store, seed) -> new ModuleInstance(place, store, seed, true, true));   // told its part of what all do
+        ALL.put("forgets", (place, store, seed) -> new ModuleInstance(place, store, seed, false, false));   // what it learned, at each end of a process
         ALL.put("robin", (place, store, seed) -> new PlainInstance(place, new Plain.RoundRobin()));
         ALL.put("least", (place, store, seed) -> new PlainInstance(place, new Plain.LeastInFlight()));
         ALL.put("bucket", (place, store, seed) -> new PlainInstance(place, new Plain.TokenBucket()));
--- /dev/null
+++ b/src/main/java/elderseam/emulator/Shares.java
@@ -0,0 +1,94 @@
+package elderseam.emulator;
+
+import elderseam.core.Relay;
+import elderseam.fleet.share.FleetSize;
+import elderseam.fleet.share.Subsets;
+import elderseam.module.Sender;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What an emulated dispatcher is told of its part of what all do: the shipped decisions ({@link FleetSize}, {@link Subsets}) on a
+ * membership that is late, as gossip's is: one that comes is seen by each after its own half to one and a half seconds, one that goes
+ * after five to eight (a suspicion of 4 s and a probe's wait), where it was not back before.
+ */
+final class Shares {
+    private static final long S = 1_000_000_000L, HOLD_NS = 20 * S, LOOK_NS = 250_000_000L;
+
+    /** What each dispatcher knows of the others. */
+    static final class View {
+        private final Set<Integer> seen = new HashSet<>();
+        private final Map<Integer, Long> changes = new HashMap<>();   // the last change of each that is on its way
+
+        /** {@code at}: when this one sees it; a later change of the same one, seen first, wins. */
+        void changes(VirtualTime time, int who, boolean up, long at) {
+            changes.put(who, at);
+            time.at(at, () -> {
+                if (changes.get(who) == at) {
+                    if (up) {
+                        seen.add(who);
+                    } else {
+                        seen.remove(who);
+                    }
+                }
+            });
+        }
+    }
+
+    private final Instance.Place place;
+    private final Relay relay;
+    private final FleetSize size;
+    private final Map<Long, List<String>> listed = new HashMap<>();
+    private Set<Integer> members = Set.of();
+    private Set<String> preferred = Set.of();
+    private int sharers;
+    private boolean changed;
+
+    Shares(Instance.Place place, Relay relay) {
+        this.place = place;
+        this.relay = relay;
+        this.size = new FleetSize(place.plan().fleet().dispatchers(), HOLD_NS);
+        place.at(place.time().now(), this::look);
+    }
+
+    void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
+        if (kind == Sender.ListKind.WHOLE) {
+            listed.clear();
+        }
+        for (Sender.Endpoint e : list) {
+            List<String> of = listed.computeIfAbsent(e.destination(), d -> new ArrayList<>());
+            of.remove(e.address());
+            if (e.listing() == Sender.Listing.READY) {
+                of.add(e.address());
+            }
+        }
+        changed = true;
+    }
+
+    private void look() {
+        Set<Integer> now = new HashSet<>(place.view().seen);
+        now.add(place.number());
+        size.seen(place.time().now(), now.size());
+        int by = size.sharers(place.time().now());
+        if (changed || by != sharers || !now.equals(members)) {
+            changed = false;
+            sharers = by;
+            members = now;
+            List<String> names = now.stream().map(n -> "m" + n).toList();
+            Set<String> all = new HashSet<>(), own = new HashSet<>();
+            Plan.Fleet fleet = place.plan().fleet();
+            listed.values().forEach(endpoints -> {
+                int k = Subsets.size(names.size(), endpoints.size(), fleet.connections(), 1);
+                all.addAll(endpoints);
+                own.addAll(k >= endpoints.size() ? endpoints : Subsets.all(Subsets.Way.BOUNDED, names, endpoints, k).get("m" + place.number()));
+            });
+            preferred = own;
+            relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
+        }
+        place.at(place.time().now() + LOOK_NS, this::look);
+    }
+}
--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/emulator/Tally.java
@@ -17,6 +17,9 @@
     private final Histogram[] latency = new Histogram[3];
     private int messages, delivered, refused, failed, lost, handed, calls, failedCalls, callsInTrouble;
     private final Map<Long, Integer> troubled = new HashMap<>();
+    private final Map<String, Map<Integer, Long>> connected = new HashMap<>();   // by endpoint and dispatcher: until when at least
+    private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
+    private int connections, mostConnected;
 
     public Tally(Plan plan) {
         int n = (int) Math.ceil(plan.seconds()) + 60;
@@ -73,9 +76,19 @@
         return took > c.deadlineNs() + 100 * MS ? 0 : c.worth() * Math.max(c.lateWorth(), Math.pow(0.5, late));
     }
 
+    @Override
+    public void connects(long now, int dispatcher, String endpoint, long until) {
+        connections++;
+        Map<Integer, Long> there = connected.computeIfAbsent(endpoint, e -> new HashMap<>());
+        there.values().removeIf(t -> t < now);
+        there.put(dispatcher, until);
+        mostConnected = Math.max(mostConnected, there.size());
+    }
+
     @Override
     public void called(long now, int dispatcher, Msg m, String endpoint) {
         calls++;
+        byEndpoint.computeIfAbsent(m.destination(), d -> new HashMap<>()).merge(endpoint, 1, Integer::sum);
         callsAt[second(now)]++;
         callsInTrouble += troubled.containsKey(m.destination()) ? 1 : 0;
     }
@@ -145,6 +158,17 @@
         return latency[cls];
     }
 
+    /** The most calls at an endpoint over the mean of its destination, over all destinations by their calls. */
+    private double unevenness() {
+        double sum = 0, weight = 0;
+        for (Map<String, Integer> of : byEndpoint.values()) {
+            int all = of.values().stream().mapToInt(n -> n).sum();
+            sum += (double) of.values().stream().mapToInt(n -> n).max().orElse(0) * of.size();
+            weight += all;
+        }
+        return weight == 0 ? 1 : sum / weight;
+    }
+
     /** Figures by name, in a fixed order. */
     public Map<String, Double> figures() {
         Map<String, Double> all = new java.util.LinkedHashMap<>();
@@ -159,6 +183,9 @@
         all.put("calls", (double) calls);
         all.put("failed_calls", (double) failedCalls);
         all.put("calls_in_trouble", (double) callsInTrouble);
+        all.put("connections", (double) connections);
+        all.put("most_dispatchers_at_endpoint", (double) mostConnected);
+        all.put("endpoint_max_over_mean", unevenness());
         for (int i = 0; i < 3; i++) {
             for (double p : new double[] {50, 99, 99.9}) {
                 all.put(Policies.CLASS_NAMES[i].replace('-', '_') + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms", latency[i].getValueAtPercentile(p) / 1_000.0);
--- a/src/main/java/elderseam/emulator/Watcher.java
+++ b/src/main/java/elderseam/emulator/Watcher.java
@@ -22,6 +22,9 @@
     /** A dispatcher sends an attempt. */
     default void called(long now, int dispatcher, Msg m, String endpoint) {}
 
+    /** A dispatcher opens a connection to an endpoint, which stands idle until then unless it is used again. */
+    default void connects(long now, int dispatcher, String endpoint, long until) {}
+
     /** It knows how the attempt ended, or gave it up. */
     default void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {}
 
--- a/src/main/java/elderseam/emulator/Watchers.java
+++ b/src/main/java/elderseam/emulator/Watchers.java
@@ -37,6 +37,11 @@
         all.forEach(w -> w.called(now, dispatcher, m, endpoint));
     }
 
+    @Override
+    public void connects(long now, int dispatcher, String endpoint, long until) {
+        all.forEach(w -> w.connects(now, dispatcher, endpoint, until));
+    }
+
     @Override
     public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
         all.forEach(w -> w.ended(now, dispatcher, m, endpoint, end));
--- a/src/main/java/elderseam/emulator/World.java
+++ b/src/main/java/elderseam/emulator/World.java
@@ -24,6 +24,7 @@
     final class Seat implements Instance.Place {
         final int number;
         final MemoryStore store = new MemoryStore();
+        final Shares.View view = new Shares.View();
         Instance instance;
         long life;
         boolean up, accepting;
@@ -37,6 +38,16 @@
             return time;
         }
 
+        @Override
+        public int number() {
+            return number;
+        }
+
+        @Override
+        public Shares.View view() {
+            return view;
+        }
+
         @Override
         public Plan plan() {
             return plan;
@@ -79,6 +90,7 @@
             accepting = true;
             instance = maker.make(this, store, seed * 1_000 + number * 31L + life);
             watcher.process(time.now(), number, true);
+            seen(this, true);
             instance.hosts(Sender.ListKind.WHOLE, list());
         }
 
@@ -86,6 +98,7 @@
             up = false;
             accepting = false;
             watcher.process(time.now(), number, false);
+            seen(this, false);
         }
     }
 
@@ -155,11 +168,23 @@
         seats.stream().filter(s -> s.up).forEach(s -> s.instance.breakers(each));
     }
 
+    /** Each of the others sees it in its own time. */
+    private void seen(Seat of, boolean up) {
+        UniformRandomProvider r = draws.of("seen " + of.number + " " + of.life);
+        for (Seat s : seats) {
+            if (s != of) {
+                double after = time.now() == 0 ? 0 : up ? 0.5 + r.nextDouble() : 5 + 3 * r.nextDouble();
+                s.view.changes(time, of.number, up, time.now() + (long) (after * S));
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- the front layer
 
     /** A dispatcher that takes clients on, or null. */
     Seat any(UniformRandomProvider r) {
-        int from = r.nextInt(seats.size());
+        double hot = plan.fleet().hot();
+        int from = hot > 1 && r.nextDouble() * (seats.size() - 1 + hot) < hot - 1 ? 0 : r.nextInt(seats.size());
         for (int i = 0; i < seats.size(); i++) {
             Seat s = seats.get((from + i) % seats.size());
             if (s.accepting) {
--- /dev/null
+++ b/src/main/java/elderseam/fleet/config/VersionFolder.java
@@ -0,0 +1,78 @@
+package elderseam.fleet.config;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a member keeps of versions in its own folder, so that it starts again on the one it acted on last, and an operator can look
+ * at them while nothing runs: {@code acting.json}, {@code NUMBER.json} of those committed, and the texts of each as files below {@code
+ * NUMBER/}. Each file is written whole or not at all.
+ */
+public final class VersionFolder {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Path folder;
+
+    public VersionFolder(Path folder) throws IOException {
+        this.folder = Files.createDirectories(folder);
+    }
+
+    private void put(Path file, byte[] bytes) throws IOException {
+        Path fresh = file.resolveSibling(file.getFileName() + ".new");
+        Files.write(fresh, bytes);
+        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Keeps one that is committed. */
+    public void keep(Version v) throws IOException {
+        Path file = folder.resolve(v.number() + ".json");
+        if (!Files.exists(file)) {
+            put(file, JSON.writeValueAsBytes(v));
+        }
+    }
+
+    /** Remembers that this one is acted on from now on. */
+    public void acting(Version v) throws IOException {
+        put(folder.resolve("acting.json"), JSON.writeValueAsBytes(v));
+    }
+
+    /** What was acted on last; {@link Version#NONE} where nothing was. A file that can't be read is an error: a guess would be worse. */
+    public Version acting() throws IOException {
+        Path file = folder.resolve("acting.json");
+        return Files.exists(file) ? read(file) : Version.NONE;
+    }
+
+    private static Version read(Path file) throws IOException {
+        Version v = JSON.readValue(Files.readAllBytes(file), Version.class);
+        if (!v.hash().equals(Version.hash(v.texts()))) {
+            throw new IOException(file + ": its hash is not its content's");
+        }
+        return v;
+    }
+
+    /** All that are kept, oldest first. */
+    public List<Version> all() throws IOException {
+        List<Version> all = new ArrayList<>();
+        try (var files = Files.list(folder)) {
+            for (Path f : files.filter(p -> p.getFileName().toString().matches("\\d{1,18}\\.json")).toList()) {
+                all.add(read(f));
+            }
+        }
+        all.sort(java.util.Comparator.comparingLong(Version::number));
+        return all;
+    }
+
+    /** The texts of a version as files below a folder of its own, which is told. */
+    public Path texts(Version v) throws IOException {
+        Path own = Files.createDirectories(folder.resolve(v.number() + "-" + v.hash().substring(0, 12)));
+        for (var e : v.texts().entrySet()) {
+            put(own.resolve(e.getKey()), e.getValue().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        }
+        return own;
+    }
+}
--- a/src/main/java/elderseam/fleet/lease/LeaseCodec.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseCodec.java
@@ -1,6 +1,9 @@
 package elderseam.fleet.lease;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import elderseam.fleet.config.VersionTable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
@@ -28,9 +31,44 @@
         }
     }
 
+    /** A command on versions stands behind this byte, which begins no JSON. */
+    private static final byte VERSIONS = 'V';
+    private static final String MORE = "versions";
+
+    static boolean isVersions(ByteString bytes) {
+        return !bytes.isEmpty() && bytes.byteAt(0) == VERSIONS;
+    }
+
+    static ByteString encodeVersions(VersionTable.Command command) {
+        return ByteString.copyFrom(new byte[] {VERSIONS}).concat(encode(command));
+    }
+
+    static VersionTable.Command versions(ByteString bytes) throws IOException {
+        try {
+            return JSON.readValue(bytes.substring(1).toByteArray(), VersionTable.Command.class);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("version command: " + e.getMessage(), e);
+        }
+    }
+
+    static VersionTable.Outcome versionsOutcome(ByteString bytes) throws IOException {
+        return JSON.readValue(bytes.toByteArray(), VersionTable.Outcome.class);
+    }
+
+    /** What a snapshot holds; one from before there were versions has none. */
+    record Images(LeaseTable.Image leases, VersionTable.Image versions) {}
+
+    static byte[] encode(Images images) {
+        ObjectNode node = JSON.valueToTree(images.leases);
+        node.set(MORE, JSON.valueToTree(images.versions));
+        return encode(node).toByteArray();
+    }
+
     /** A snapshot's bytes, or an IOException where they are none. */
-    static LeaseTable.Image image(byte[] bytes) throws IOException {
-        return JSON.readValue(bytes, LeaseTable.Image.class);
+    static Images images(byte[] bytes) throws IOException {
+        ObjectNode node = (ObjectNode) JSON.readTree(bytes);
+        JsonNode versions = node.remove(MORE);
+        return new Images(JSON.treeToValue(node, LeaseTable.Image.class), versions == null ? null : JSON.treeToValue(versions, VersionTable.Image.class));
     }
 
     static LeaseTable.Outcome outcome(ByteString bytes) throws IOException {
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.config.VersionTable;
 import elderseam.http.Lean;
 import java.io.Closeable;
 import java.io.IOException;
@@ -31,6 +32,7 @@
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
 
@@ -60,12 +62,14 @@
     }
 
     private final RaftServer server;
+    private final LeaseMachine machine;
     private final RaftClient client;
     private final String holder;
     private final java.util.concurrent.ExecutorService asker;
 
-    private LeaseGroup(RaftServer server, RaftClient client, String self, String holder) {
+    private LeaseGroup(RaftServer server, LeaseMachine machine, RaftClient client, String self, String holder) {
         this.server = server;
+        this.machine = machine;
         this.client = client;
         this.holder = holder;
         this.asker = java.util.concurrent.Executors.newSingleThreadExecutor(r -> {
@@ -97,11 +101,12 @@
         // One that joins begins with no members at all, and learns them from the leader that takes it in.
         RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
         boolean kept = Files.isDirectory(o.folder().resolve(group.getGroupId().getUuid().toString()));
+        LeaseMachine machine = new LeaseMachine(o.clock(), o.watch());
         RaftServer server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(o.self())).setGroup(own)
-                .setStateMachine(new LeaseMachine(o.clock(), o.watch())).setProperties(properties)
+                .setStateMachine(machine).setProperties(properties)
                 .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
         server.start();
-        return new LeaseGroup(server, client(group, properties), o.self(), o.self() + "/" + o.life());
+        return new LeaseGroup(server, machine, client(group, properties), o.self(), o.self() + "/" + o.life());
     }
 
     /** Makes these the group's members, all at once, while leases are held; done once the group has agreed. */
@@ -187,25 +192,42 @@
         return ask(new LeaseTable.Command(LeaseTable.Op.PUBLISH, name, holder, token, 0, 0, value));
     }
 
+    /** Asks for what a command on versions comes to. */
+    public CompletableFuture<VersionTable.Outcome> versions(VersionTable.Command command) {
+        return ask(Message.valueOf(LeaseCodec.encodeVersions(command)), LeaseCodec::versionsOutcome);
+    }
+
+    /** The versions as this member has them, which may be behind the group's. */
+    public LeaseMachine.Versions versions() {
+        return machine.versions();
+    }
+
     private CompletableFuture<LeaseTable.Outcome> ask(LeaseTable.Command command) {
-        Message message = Message.valueOf(LeaseCodec.encode(command));
+        return ask(Message.valueOf(LeaseCodec.encode(command)), LeaseCodec::outcome);
+    }
+
+    private interface Decoded<T> {
+        T of(ByteString bytes) throws IOException;
+    }
+
+    private <T> CompletableFuture<T> ask(Message message, Decoded<T> decoded) {
         // The blocking client turns to the next member when one is gone; the ordered async one was seen to wait on a
         // closed member for over 20 s. Its one thread keeps the calls in order and off every caller's thread.
         return CompletableFuture.supplyAsync(() -> {
             try {
-                return outcome(client.io().send(message));
+                return outcome(client.io().send(message), decoded);
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
             }
         }, asker);
     }
 
-    private static LeaseTable.Outcome outcome(RaftClientReply reply) {
+    private static <T> T outcome(RaftClientReply reply, Decoded<T> decoded) {
         if (!reply.isSuccess()) {
             throw new IllegalStateException("lease group: " + reply.getException());
         }
         try {
-            return LeaseCodec.outcome(reply.getMessage().getContent());
+            return decoded.of(reply.getMessage().getContent());
         } catch (IOException e) {
             throw new IllegalStateException("lease group: an answer that can't be read", e);
         }
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -1,8 +1,11 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.config.Version;
+import elderseam.fleet.config.VersionTable;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
@@ -20,6 +23,7 @@
 import org.apache.ratis.statemachine.impl.BaseStateMachine;
 import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
 import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
 
@@ -31,7 +35,11 @@
  * <p>The engine's one applying thread changes the table; whoever else reads it (a stamp, a snapshot) takes the same lock.
  */
 public final class LeaseMachine extends BaseStateMachine {
+    /** The versions as this member has them applied, which may be behind the group's. */
+    public record Versions(Version latest, Version pending, VersionTable.Ended ended, List<Version> all) {}
+
     private final LeaseTable table = new LeaseTable();
+    private final VersionTable versions = new VersionTable();   // under the table's lock too: one clock stamps both
     private final LeaderClock leading = new LeaderClock();
     private final LongSupplier clock;
     private final Watch watch;
@@ -48,6 +56,9 @@
 
         /** A lease was given back before its end. */
         default void freed(String lease) {}
+
+        /** A version was proposed, committed or refused. */
+        default void versions() {}
     }
 
     /**
@@ -82,12 +93,16 @@
     private void load() throws IOException {
         SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
         if (snapshot != null) {
-            LeaseTable.Image image = LeaseCodec.image(Files.readAllBytes(snapshot.getFile().getPath()));
+            LeaseCodec.Images images = LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
             synchronized (table) {
-                table.restore(image);
+                table.restore(images.leases());
+                if (images.versions() != null) {
+                    versions.restore(images.versions());
+                }
             }
             setLastAppliedTermIndex(snapshot.getTermIndex());
-            image.published().forEach(watch::published);
+            images.leases().published().forEach(watch::published);
+            watch.versions();
         }
     }
 
@@ -95,13 +110,13 @@
     @Override
     public long takeSnapshot() throws IOException {
         TermIndex last;
-        LeaseTable.Image image;
+        LeaseCodec.Images images;
         synchronized (table) {
             last = getLastAppliedTermIndex();
-            image = table.image();
+            images = new LeaseCodec.Images(table.image(), versions.image());
         }
         File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
-        Files.write(file.toPath(), LeaseCodec.encode(image).toByteArray());
+        Files.write(file.toPath(), LeaseCodec.encode(images));
         FileInfo info = new FileInfo(file.toPath(), MD5FileUtil.computeAndSaveMd5ForFile(file));
         storage.updateLatestSnapshot(new SingleFileSnapshotInfo(info, last));
         return last.getIndex();
@@ -119,20 +134,27 @@
 
     @Override
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
-        LeaseTable.Command command = LeaseCodec.command(request.getMessage().getContent());
+        ByteString content = request.getMessage().getContent();
+        boolean onVersions = LeaseCodec.isVersions(content);
+        LeaseTable.Command command = onVersions ? null : LeaseCodec.command(content);
+        VersionTable.Command version = onVersions ? LeaseCodec.versions(content) : null;
         long term = server.getDivision(getGroupId()).getInfo().getCurrentTerm(), stamp;
         synchronized (table) {
-            stamp = leading.stamp(term, table.now(), clock.getAsLong());
+            stamp = leading.stamp(term, Math.max(table.now(), versions.now()), clock.getAsLong());
         }
         return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
-                .setLogData(LeaseCodec.encode(command.stamped(stamp))).build();
+                .setLogData(onVersions ? LeaseCodec.encodeVersions(version.stamped(stamp)) : LeaseCodec.encode(command.stamped(stamp))).build();
     }
 
     @Override
     public CompletableFuture<Message> applyTransaction(TransactionContext trx) {
         LogEntryProto entry = trx.getLogEntry();
+        ByteString data = entry.getStateMachineLogEntry().getLogData();
         try {
-            LeaseTable.Command command = LeaseCodec.command(entry.getStateMachineLogEntry().getLogData());
+            if (LeaseCodec.isVersions(data)) {
+                return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
+            }
+            LeaseTable.Command command = LeaseCodec.command(data);
             LeaseTable.Outcome outcome;
             synchronized (table) {   // the index moves with the table: a snapshot must tell of both or neither
                 outcome = table.apply(command);
@@ -150,4 +172,27 @@
             return CompletableFuture.failedFuture(e);
         }
     }
+
+    private VersionTable.Outcome apply(VersionTable.Command command, LogEntryProto entry) {
+        VersionTable.Outcome outcome;
+        boolean news;
+        synchronized (table) {
+            Version pending = versions.pending();
+            VersionTable.Ended ended = versions.ended();
+            outcome = versions.apply(command);
+            news = pending != versions.pending() || !ended.equals(versions.ended());
+            updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+        }
+        if (news) {
+            watch.versions();
+        }
+        return outcome;
+    }
+
+    /** The versions as they stand here. */
+    public Versions versions() {
+        synchronized (table) {
+            return new Versions(versions.latest(), versions.pending(), versions.ended(), versions.all());
+        }
+    }
 }
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -38,13 +38,18 @@
         static Setup gossip(String rule) {
             return new Setup(false, name -> "", false, true, rule);
         }
+
+        /** Members that gossip, with these further sections. */
+        static Setup gossiping(String sections) {
+            return new Setup(false, name -> sections, false, true, "off");
+        }
     }
 
     private final Plan plan;
     private final Path folder;
     private final Setup setup;
     private final Network network = new Network();
-    private final Outside outside = new Outside();
+    private final Outside outside;
     private final Store store;
     private final History history;
     private final FaultProxy toStore;
@@ -69,6 +74,12 @@
 
     /** Starts the members and waits until each is ready. */
     Cluster(Plan plan, Path folder, Setup setup) throws IOException {
+        this(plan, folder, setup, 1);
+    }
+
+    /** {@code endpoints}: how many the partner of the first destination has. */
+    Cluster(Plan plan, Path folder, Setup setup, int endpoints) throws IOException {
+        this.outside = new Outside(plan.members(), endpoints);
         this.plan = plan;
         this.folder = Files.createDirectories(folder);
         this.setup = setup;
@@ -119,7 +130,7 @@
         String name = "n" + ++named;
         Path own = Files.createDirectories(folder.resolve(name));
         Files.createDirectories(own.resolve("state"));
-        Files.writeString(own.resolve("config.json"), outside.config());
+        Files.writeString(own.resolve("config.json"), outside.config(named));
         proxies.put(name, new FaultProxy(network, name, new InetSocketAddress(place, PORT + named), () -> pids));
         if (!setup.gossip().isEmpty()) {
             InetSocketAddress at = new InetSocketAddress(place, GOSSIP_PORT + named);
@@ -162,7 +173,8 @@
         String seeds = String.join(" ", gossips.values().stream().map(g -> "127.0.0.1:" + g.connections().address().getPort()).filter(a -> !a.equals(at)).toList());
         return "[gossip]\nlisten = " + place + ":" + (GOSSIP_PORT + Integer.parseInt(name.substring(1))) + "\nadvertise = " + at + "\nname = " + name + "\nkey_file = "
                 + folder.resolve(name).resolve("key") + "\nroster = " + folder.resolve("roster") + "\nseeds = " + seeds
-                + "\n[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n";
+                + "\n[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n"
+                + setup.lines().apply(name);
     }
 
     private void start(Member m) throws IOException {
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/fleet/rig/Outside.java
@@ -10,9 +10,12 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -20,7 +23,7 @@
 final class Outside {
     private static final long WATCH_NS = 1_000 * Clock.MS, PATIENCE_NS = 5_000 * Clock.MS;
     private static final String SETTINGS = """
-            {"discovery":"ask","replicasOfMe":3,"flavors":["bank"],"localities":["z"],"weightKind":"nominal",
+            {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["bank"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
              "limits":{"maxAttempts":12,"maxRetryAfterNs":3000000000,"mayCancel":true,"mostHeld":400,
                        "connIdleNs":15000000000,"connectTimeoutNs":1500000000},
@@ -31,34 +34,45 @@
     private final Server server;
     private final Connections client;
     private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong(), lists = new AtomicLong(), failed = new AtomicLong();
+    private final int members;
+    private final List<Server> more = new ArrayList<>();   // the further endpoints of the first destination
+    private final AtomicLongArray calls;                    // at each endpoint of it
     private volatile boolean failing;
     private volatile int destinations = 1;   // and the list's version, less one
 
-    Outside() throws IOException {
+    /** {@code members}: as the dispatchers are told; {@code endpoints}: of the first destination's partner. */
+    Outside(int members, int endpoints) throws IOException {
         Lean.start();
+        this.members = members;
+        this.calls = new AtomicLongArray(endpoints);
         io = new Io(new Clock());
         server = new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 256, 1 << 20, null, this::answer);
         client = new Connections(io, PATIENCE_NS, 64, 1 << 10);
+        for (int i = 1; i < endpoints; i++) {
+            int number = i;
+            more.add(new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 256, 1 << 20, null, (r, to) -> partner(number, to)));
+        }
     }
 
     String address() {
         return "127.0.0.1:" + server.address().getPort();
     }
 
-    /** What a dispatcher's RELAY_CONFIG holds. */
-    String config() {
-        return "{\"seed\":\"1\",\"discovery\":\"" + address() + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3},"
-                + "\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
+    /** What the RELAY_CONFIG of the dispatcher with that number holds. */
+    String config(int number) {
+        return "{\"seed\":\"" + number + "\",\"discovery\":\"" + address() + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3},"
+                + "\"known\":" + list() + ",\"settings\":" + SETTINGS.replace("MEMBERS", Integer.toString(members)) + "}";
     }
 
     private String list() {
         int now = destinations;
-        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":[" + IntStream.rangeClosed(1, now).mapToObj(this::partner).collect(Collectors.joining(","))
-                + "]}";
+        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":[" + IntStream.rangeClosed(1, now).mapToObj(d -> host("s" + d, address(), d))
+                .collect(Collectors.joining(",")) + IntStream.range(0, more.size())
+                .mapToObj(i -> "," + host("s1-" + i, "127.0.0.1:" + more.get(i).address().getPort(), 1)).collect(Collectors.joining()) + "]}";
     }
 
-    private String partner(int destination) {
-        return "{\"id\":\"s" + destination + "\",\"addr\":\"" + address() + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":" + destination
+    private static String host(String id, String at, int destination) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":" + destination
                 + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
     }
 
@@ -79,16 +93,26 @@
         } else if (r.path().equals("/status")) {
             to.answer(204, Map.of(), "");
         } else {
-            if (failing) {
-                failed.incrementAndGet();
-                to.answer(500, Map.of(), "");
-            } else {
-                delivered.incrementAndGet();
-                to.answer(200, Map.of(), "");
-            }
+            partner(0, to);
         }
     }
 
+    private void partner(int endpoint, Server.Answerer to) {
+        calls.incrementAndGet(endpoint);
+        if (failing) {
+            failed.incrementAndGet();
+            to.answer(500, Map.of(), "");
+        } else {
+            delivered.incrementAndGet();
+            to.answer(200, Map.of(), "");
+        }
+    }
+
+    /** How many calls each endpoint of the first destination has had; further destinations count at its first one. */
+    long[] calls() {
+        return IntStream.range(0, calls.length()).mapToLong(calls::get).toArray();
+    }
+
     /** The partner answers every call with an error from now on, or delivers again. */
     void fail(boolean fails) {
         failing = fails;
--- /dev/null
+++ b/src/main/java/elderseam/fleet/share/Subsets.java
@@ -0,0 +1,127 @@
+package elderseam.fleet.share;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which endpoints of a destination each member prefers. Every member computes the whole of it from the same names, so no word
+ * is exchanged; where the names that two members have differ, they differ for a while in few places.
+ *
+ * <p>Three ways, to be compared ({@code lab subsets}): the deterministic subsets of Google's SRE book (chapter 20: shuffled rounds
+ * over the member's rank; even, and a member that goes shifts the rank of all behind it), rendezvous hashing (Thaler and Ravishankar
+ * 1998; few move, and chance makes it uneven), and rendezvous hashing with bounded loads, after the bounded loads that Mirrokni,
+ * Thorup and Zadimoghaddam (2018) gave consistent hashing: in the order of their hashes the members take their best endpoints of those
+ * that have not had their part yet. The last one is used.
+ */
+public final class Subsets {
+    public enum Way { SRE, RENDEZVOUS, BOUNDED }
+
+    /** How much above an even part an endpoint may be taken: less evens more, and moves more when the fleet changes. */
+    static final double SLACK = 1.05;
+
+    private static final Hasher64 HASH = Hashing.wyhashFinal4();
+
+    private Subsets() {}
+
+    private static long score(String a, String b) {
+        return HASH.hashCharsToLong(a + '\n' + b);
+    }
+
+    /**
+     * How many endpoints a member prefers, where an endpoint takes {@code connections} from all and a member may hold {@code each}
+     * there: as many as fit, one at least; all where no limit is known (0).
+     */
+    public static int size(int members, int endpoints, int connections, int each) {
+        if (connections <= 0) {
+            return endpoints;
+        }
+        return (int) Math.max(1, Math.min(endpoints, (long) connections * endpoints / Math.max(1, (long) members * each)));
+    }
+
+    /** Each member's endpoints; {@code size} at most, and never fewer than one where there is one. */
+    public static Map<String, List<String>> all(Way way, List<String> members, List<String> endpoints, int size) {
+        List<String> names = members.stream().sorted().distinct().toList(), hosts = endpoints.stream().sorted().distinct().toList();
+        int k = Math.min(size, hosts.size());
+        return switch (way) {
+            case SRE -> sre(names, hosts, k);
+            case RENDEZVOUS -> rendezvous(names, hosts, k);
+            case BOUNDED -> bounded(names, hosts, k);
+        };
+    }
+
+    private static List<String> ranked(String member, List<String> hosts) {
+        return hosts.stream().sorted(Comparator.comparingLong((String h) -> score(member, h)).thenComparing(h -> h)).toList();
+    }
+
+    private static Map<String, List<String>> rendezvous(List<String> names, List<String> hosts, int k) {
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        names.forEach(n -> all.put(n, ranked(n, hosts).subList(0, k)));
+        return all;
+    }
+
+    private static Map<String, List<String>> sre(List<String> names, List<String> hosts, int k) {
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        int subsets = k == 0 ? 1 : Math.max(1, hosts.size() / k);
+        for (int i = 0; i < names.size(); i++) {
+            int round = i / subsets, part = i % subsets;
+            List<String> shuffled = ranked("round " + round, hosts);
+            all.put(names.get(i), shuffled.subList(part * k, part * k + k));
+        }
+        return all;
+    }
+
+    private static Map<String, List<String>> bounded(List<String> names, List<String> hosts, int k) {
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        Map<String, Integer> load = new HashMap<>();
+        double even = hosts.isEmpty() ? 0 : (double) names.size() * k / hosts.size();
+        int most = (int) Math.max(Math.ceil(even), Math.floor(even * SLACK));   // a few members must not round up to one more each
+        List<String> order = names.stream().sorted(Comparator.comparingLong((String n) -> score(n, "order")).thenComparing(n -> n)).toList();
+        for (String name : order) {
+            List<String> ranked = ranked(name, hosts), own = new ArrayList<>(k);
+            for (String h : ranked) {
+                if (own.size() < k && load.getOrDefault(h, 0) < most) {
+                    own.add(h);
+                }
+            }
+            // the last members may find too few below their part: then the least taken of the others
+            ranked.stream().filter(h -> !own.contains(h)).sorted(Comparator.comparingInt((String h) -> load.getOrDefault(h, 0)))
+                    .limit(k - own.size()).toList().forEach(own::add);
+            own.forEach(h -> load.merge(h, 1, Integer::sum));
+            all.put(name, List.copyOf(own));
+        }
+        return all;
+    }
+
+    /** The most members at an endpoint over the mean, 1 where it is even. */
+    public static double unevenness(Map<String, List<String>> all, List<String> endpoints) {
+        Map<String, Integer> load = load(all);
+        double mean = load.values().stream().mapToInt(n -> n).sum() / (double) Math.max(1, endpoints.size());
+        return mean == 0 ? 1 : load.values().stream().mapToInt(n -> n).max().orElse(0) / mean;
+    }
+
+    /** How many members prefer each endpoint. */
+    public static Map<String, Integer> load(Map<String, List<String>> all) {
+        Map<String, Integer> load = new HashMap<>();
+        all.values().forEach(own -> own.forEach(h -> load.merge(h, 1, Integer::sum)));
+        return load;
+    }
+
+    /** The share of the connections of members that are in both which are new in {@code after}. */
+    public static double moved(Map<String, List<String>> before, Map<String, List<String>> after) {
+        int fresh = 0, of = 0;
+        for (Map.Entry<String, List<String>> e : after.entrySet()) {
+            List<String> had = before.get(e.getKey());
+            if (had != null) {
+                of += e.getValue().size();
+                fresh += (int) e.getValue().stream().filter(h -> !had.contains(h)).count();
+            }
+        }
+        return of == 0 ? 0 : (double) fresh / of;
+    }
+}
--- a/src/main/java/elderseam/gossip/net/Post.java
+++ b/src/main/java/elderseam/gossip/net/Post.java
@@ -250,6 +250,11 @@
         return agent.membership().seen();
     }
 
+    /** The claims of a destination that count yet. */
+    public List<Claim> claims(long destination) {
+        return agent.claims(destination, io.clock.now());
+    }
+
     public List<Claim> claims() {
         return agent.claims();
     }
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -40,6 +40,8 @@
         }
     }
 
+    private static final double PROMISE = 0.3, KEPT = 0.3;   // of the worth, of the time
+
     /** A message taken and not finished, or finished with attempts still out. */
     static final class Held {
         final Sender.Message msg;
@@ -58,6 +60,20 @@
         long notBefore;
         Target last;
         double index;
+        long fresh;                  // the turn that decides first on it: before that its client knows nothing of it
+
+        /** Whether it came in this turn and waits, and others do for the same destination. */
+        boolean crowded(long turn) {
+            return fresh == turn && dest.waiting.size() > 1 && dest.waiting.contains(this);
+        }
+
+        /**
+         * What giving it up costs besides its own worth: it was taken on, has surely not run and is not late yet. The platform prices
+         * that so (0.3 of the worth before seven tenths of the time), and so would its client.
+         */
+        double promise(long now, long turn) {
+            return fresh < turn && !maybeRan && msg.deadline() - now > KEPT * cls.deadlineNs() ? PROMISE * worth : 0;
+        }
 
         double worthAt(long at, Sender.Settings settings) {
             if (at >= msg.deadline()) {
@@ -171,6 +187,7 @@
         boolean ready;
         boolean gone;                // no longer listed; forgotten once nothing is out there
         double bias;                 // this sender's own liking for it
+        boolean outside;             // of its subset
         int out;
         long usedAt = Long.MIN_VALUE / 2;   // last call ended
         final int[] failures;        // by class of message
@@ -261,11 +278,11 @@
         }
 
         /** The worth of a message of that tenant now: full within its share. */
-        double share(long now, int tenant) {
+        double share(long now, int tenant, int senders) {
             double dt = (now - refilled) / 1e9;
             refilled = now;
             for (int i = 0; i < level.length; i++) {
-                double rate = settings.tenantRates().get(i) / settings.senders();
+                double rate = settings.tenantRates().get(i) / senders;
                 level[i] = Math.min(5 * rate, level[i] + rate * dt);
             }
             if (tenant < 0 || tenant >= level.length) {
@@ -281,6 +298,7 @@
 
     static final class Destination {
         final long id;
+        final RetryBudget retries = new RetryBudget();
         Sender.Kind kind;            // as listed; while it is not, what the first kind says
         int kindNo;
         final List<Target> targets = new ArrayList<>();
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import elderseam.module.Books.Call;
 import elderseam.module.Books.Destination;
 import elderseam.module.Books.Held;
@@ -71,6 +72,8 @@
     private static final long SUBSCRIBE_NS = 500_000_000L;    // first back-off after a failed subscription
     private static final double PRICED = 50, FAR = 0.03;      // calls a price of 1 outweighs; another zone
     private static final long KEEP_NS = 30_000_000_000L;      // fewer idle connections after one did harm
+    private static final double OUTSIDE = 4;                  // more calls out in the subset: go outside
+    private static final double LEAST_RETRIES = 2;            // a second, of all senders together
     private static final double CLOSING = 3;                  // usual times left before the end, or no call
     // --- worth
     private static final double LATER = 0.9;                  // weight of the worth one aim later
@@ -135,9 +138,9 @@
         }
 
         double rampRate(long now, long from) {
-            double base = Math.max(norm, weight / settings.senders());
+            double base = Math.max(norm, weight / senders);
             double warm = Math.min(1, (double) (now - from) / Math.max(1, settings.coldNs()));
-            base = base > 0 ? base : UNTOLD / settings.senders();
+            base = base > 0 ? base : UNTOLD / senders;
             base *= Math.max(1, settings.fallMultiple() / MARGIN);
             return base * (settings.coldShare() + (1 - settings.coldShare()) * warm);
         }
@@ -153,7 +156,7 @@
             double rate = rate(now), dt = (now - refilled) / 1e9;
             refilled = now;
             if (level < 1 && now - lastFull > BUCKET_NS && !ramping) {
-                double share = weight / settings.senders();
+                double share = weight / senders;
                 boolean rose = room && weight > ROSE * cutWeight;
                 pace = rose && pace < share ? Math.min(share, pace * Math.exp(REGROW * dt))
                         : pace * Math.exp(GROW * dt);
@@ -342,7 +345,7 @@
             }
             if (call.start >= lastCut) {
                 double seen = Math.max(norm, (double) (window.calls() - window.failed()) / BUCKETS);
-                double share = Math.max(1, Math.max(seen, weight / settings.senders()));
+                double share = Math.max(1, Math.max(seen, weight / senders));
                 double from = Double.isInfinite(pace) ? share : pace;
                 double room = told ? 0 : 1 - (double) call.messages.size() / batch;  // fewer carry the same
                 pace = Math.max(0.3, (CUT - CUT_ROOM * room) * from);
@@ -368,9 +371,9 @@
 
         double crowd(double trying) {
             double warm = settings.rates() == Sender.Rates.EXACT && weight > 0 ? weight
-                    : Math.max(weight > 0 ? weight / ROUGH : UNTOLD, norm * settings.senders());
+                    : Math.max(weight > 0 ? weight / ROUGH : UNTOLD, norm * senders);
             double stands = settings.coldShare() * settings.fallMultiple() * warm * SLEEP_NS / 1e9;
-            return Math.max(1, Math.max(settings.senders(), trying) / stands);
+            return Math.max(1, Math.max(senders, trying) / stands);
         }
 
         private void backOff(long waitNs, long now) {
@@ -392,7 +395,7 @@
                 told = true;
                 room = r.shareLeft() >= ROOM;
                 if (r.shareLeft() < 0.1) {
-                    pace = Math.min(pace, Math.max(0.3, r.limitPerS() / settings.senders()));
+                    pace = Math.min(pace, Math.max(0.3, r.limitPerS() / senders));
                     lastFull = now;
                     cutWeight = weight;
                 }
@@ -418,16 +421,21 @@
     private final long[] keepNs, keepUntil;                         // by kind: idle connections, until when
     private long subscribeAt;
     private int live, callsOut, subscribeFailures;
+    private Held newest;                                            // that came in this turn
     private long turn, seq, measuredAt = Long.MIN_VALUE / 2;
     private double fleetUsual, slowdown = 1;
     private long clock = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, closesAt = Long.MAX_VALUE;
     private long due;                                               // next time something may change
     private boolean subscribed, lossy;
+    private int senders;                                            // that share the destinations
+    private Predicate<String> preferred = e -> true;                // endpoints of its subset
+    private double retries = 1;                                     // after a failure, for each first try
 
     public Brain(Sender.Settings settings, long seed, Sender.Actions actions) {
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.senders = settings.senders();
         this.keepNs = new long[settings.kinds().size()];
         this.keepUntil = new long[settings.kinds().size()];
         Arrays.fill(keepUntil, Long.MIN_VALUE);
@@ -524,6 +532,7 @@
         }
         Target t = new Target(e.address(), e.zone(), d, c, settings);
         t.bias = random.nextDouble();
+        t.outside = !preferred.test(t.address);
         d.targets.add(t);
         targets.put(e.address(), t);
         return t;
@@ -543,7 +552,9 @@
         if (cls.ordered() && msg.orderKey() >= 0) {
             lane = lanes.computeIfAbsent(msg.orderKey(), k -> new Lane());
         }
-        Held m = new Held(msg, cls, d, lane, cls.worth() * tenants.share(now, msg.tenant()), seq++);
+        Held m = new Held(msg, cls, d, lane, cls.worth() * tenants.share(now, msg.tenant(), senders), seq++);
+        m.fresh = turn + 1;
+        newest = m;
         held.put(msg.id(), m);
         live++;
         if (lane != null) {
@@ -556,6 +567,7 @@
     public void restored(long now, Sender.Message msg, int attempts, boolean maybeRan, long keyUntil) {
         message(now, msg);
         Held m = held.get(msg.id());
+        m.fresh = 0;
         m.attempts = attempts;
         m.maybeRan = maybeRan;
         m.keyUntil = keyUntil;
@@ -628,7 +640,8 @@
             return;
         }
         if (o.result() != Sender.Result.FULL && o.result() != Sender.Result.NOT_SENT) {
-            long wait = RETRY_NS << Math.min(4, m.attempts - 1);
+            boolean again = retries >= 1 || m.dest.retries.again(now, retries, LEAST_RETRIES / senders);
+            long wait = again ? RETRY_NS << Math.min(4, m.attempts - 1) : MOST_PAUSE_NS;
             m.notBefore = now + (long) (wait * (0.75 + 0.5 * random.nextDouble()));
         } else if (o.noSlot()) {
             m.notBefore = now + TICK_NS;
@@ -678,6 +691,15 @@
         destinations.computeIfPresent(id, (i, d) -> d.advised(doubt, trying));
     }
 
+    @Override
+    public void part(long now, int senders, Predicate<String> preferred, double retries) {
+        advance(now);
+        this.senders = Math.max(1, senders);
+        this.preferred = preferred;
+        this.retries = retries;
+        targets.values().forEach(t -> t.outside = !preferred.test(t.address));
+    }
+
     private void ranMaybe(Held m, Call call) {
         if (!m.maybeRan) {
             m.maybeRan = true;
@@ -899,28 +921,31 @@
         return best;
     }
 
-    /** Keeps room for what comes: the fullest destination gives up its least worth. */
+    /**
+     * Keeps room for what comes. Who was taken on has a promise, a newcomer may go elsewhere at once: so its
+     * destination gives up its least worth where others wait there already, else the fullest one does.
+     */
     private void shed(long now) {
         int room = Math.max(1, settings.mostHeld() / 16);
         while (live > settings.mostHeld() - room) {
-            Destination fullest = busy.stream().max(Comparator.comparingInt(d -> d.waiting.size()))
-                    .orElse(null);
-            if (fullest == null || fullest.waiting.isEmpty()) {
+            Destination from = newest != null && newest.crowded(turn) ? newest.dest
+                    : busy.stream().max(Comparator.comparingInt(d -> d.waiting.size())).orElse(null);
+            if (from == null || from.waiting.isEmpty()) {
                 return;
             }
-            fullest.waiting.forEach(m -> m.index = index(m, now));
-            giveUp(Collections.min(fullest.waiting, Comparator.comparingDouble(m -> m.index)), now,
-                    comeBack(fullest, now));
+            from.waiting.forEach(m -> m.index = index(m, now, m.promise(now, turn)));
+            Held least = Collections.min(from.waiting, Comparator.comparingDouble(m -> m.index));
+            giveUp(least, now, comeBack(from, now));
         }
     }
 
-    /** What is lost by waiting, for each second of a slot. */
-    private double index(Held m, long now) {
+    /** What is lost by waiting, for each second of a slot; {@code more}: besides, where it is given up. */
+    private double index(Held m, long now, double more) {
         double ns = m.dest.circuits.isEmpty() ? fleetUsual
                 : Math.max(m.dest.circuits.get(0).usualNs(), m.dest.circuits.get(0).recent);
         long done = now + (long) ns;
         double later = m.worthAt(done + m.cls.aimNs(), settings);
-        return (m.worthAt(done, settings) - LATER * later) / Math.max(ns, TICK_NS);
+        return (m.worthAt(done, settings) - LATER * later + more) / Math.max(ns, TICK_NS);
     }
 
     private boolean laneFree(Held m, long now) {
@@ -950,7 +975,7 @@
                     due(now < m.notBefore ? m.notBefore : m.lane.restUntil > now ? m.lane.restUntil : due);
                     continue;
                 }
-                m.index = share * index(m, now);
+                m.index = share * index(m, now, 0);
                 if (closed) {
                     candidates.add(m);
                 } else if (trial == null || m.cls.effect().compareTo(trial.cls.effect()) < 0
@@ -1012,6 +1037,7 @@
                 t.bias = -Math.log(1 - random.nextDouble()) / share;
             }
             double cost = t.out + PRICED * price(t) + (t == m.last ? 2 : 0) + t.bias
+                    + (t.outside ? OUTSIDE : 0)
                     + (now < t.restUntil[k] ? 100 + t.failures[k] : 0) - (joins(t) ? 50 : 0);
             if (t.circuit.state == State.HALF_OPEN && m.cls.effect() != Sender.Effect.UNSAFE) {
                 cost -= 1000;
@@ -1052,6 +1078,9 @@
         }
         call.messages.add(m);
         call.pending++;
+        if (m.attempts == 0) {
+            m.dest.retries.tried(now, retries, LEAST_RETRIES / senders);
+        }
         m.out.put(m.attempts++, call);
         m.last = t;
         if (m.lane != null) {
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 /**
  * The interface of the decision module: what a host tells it ({@link Events}) and what it asks of the host
@@ -212,6 +213,14 @@
          */
         void advised(long now, long destination, double doubt, double trying);
 
+        /**
+         * What its part is of all that is sent, until told otherwise. {@code senders}: by how many the limits of destinations and
+         * the shares of tenants are divided, in the place of the settings' number. {@code preferred}: the endpoints of its subset; others
+         * are called where the preferred ones can't be or have much more out, so no message waits for them. {@code retries}: tries
+         * after a failure for each first one at a destination, 1 and more for no bound; of the fleet, so every sender's alike.
+         */
+        void part(long now, int senders, Predicate<String> preferred, double retries);
+
         /** The client has withdrawn the message: no answer is owed any more. */
         void withdrawn(long now, String id);
 
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -33,6 +33,13 @@
         return listed.values().stream().filter(l -> l.entry.destination() == destination).map(l -> l.host.id()).toList();
     }
 
+    /** All that are listed, by destination. */
+    public Map<Long, List<String>> all() {
+        Map<Long, List<String>> all = new HashMap<>();
+        listed.values().forEach(l -> all.computeIfAbsent(l.entry.destination(), d -> new ArrayList<>()).add(l.host.id()));
+        return all;
+    }
+
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
     public List<Sender.Endpoint> decode(Json servers, boolean whole) {
         if (whole) {
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -51,6 +51,14 @@
 
     public static final Key<String> STATE_LEARNED = Key.text("state", "learned", "kept, or forgotten at each end of a process", "kept|forgotten", "kept", false);
 
+    public static final Key<String> SHARES_MEMBERS = Key.text("shares", "members", "off, told (by the platform's number) or gossip", "off|told|gossip", "off", false);
+    public static final Key<Long> SHARES_HOLD_S = Key.whole("shares", "hold_s", "seconds", 0, 3_600, 20, false);
+    public static final Key<Long> SHARES_CONNECTIONS = Key.whole("shares", "endpoint_connections", "connections that an endpoint takes of all, 0 where it is not known", 0,
+            1_000_000, 0, false);
+    public static final Key<Long> SHARES_EACH = Key.whole("shares", "connections_each", "connections that one member may hold at an endpoint", 1, 1_000, 2, false);
+    public static final Key<Long> SHARES_RETRIES = Key.whole("shares", "retries_percent", "further tries of a hundred first ones, 100 for no bound", 1, 100, 100, false);
+    public static final Key<String> SHARES_TRIALS = Key.text("shares", "trials", "each, or one: by turns among those whose breakers are open", "each|one", "each", false);
+
     public static final Key<String> FLEET_LISTEN = Key.listen("fleet", "listen");
     public static final Key<String> FLEET_NAME = Key.text("fleet", "name", "1 to 64 of A-Z a-z 0-9 . _ -", NAME, "", false);
     public static final Key<String> FLEET_GROUP = Key.text("fleet", "group", "1 to 64 of A-Z a-z 0-9 . _ -", NAME, "elderseam", false);
@@ -61,6 +69,10 @@
     public static final Key<String> FLEET_TRIALS = Key.text("fleet", "trials", "each, or one: the holder of a destination's lease tries it for all", "each|one", "each", false);
     public static final Key<String> FLEET_CERTIFICATES = Key.text("fleet", "certificates", "each, or one: the holder of its lease orders for all", "each|one", "each", false);
     public static final Key<String> FLEET_CERTIFICATE_KEY = Key.text("fleet", "certificate_key", "a path", PATH, "", false);
+    public static final Key<Long> FLEET_VERSIONS_BOUND_MS = Key.whole("fleet", "versions_bound_ms", "milliseconds, 0 for no versions", 0, 600_000, 0, false);
+    public static final Key<Long> FLEET_VERSIONS_LEAD_MS = Key.whole("fleet", "versions_lead_ms", "milliseconds from commit to effect, never less than the bound", 0, 3_600_000, 0, false);
+    public static final Key<String> FLEET_VERSIONS_DOUBT = Key.text("fleet", "versions_doubt", "refuse, or keep the last version, while in doubt", "refuse|keep", "refuse", false);
+    public static final Key<String> DISCOVERY_ADDRESS = Key.text("discovery", "address", "ADDRESS:PORT, empty for the platform's word", PLACE, "", true);
     public static final Key<Long> FLEET_TTL_MS = Key.whole("fleet", "ttl_ms", "milliseconds", 200, 60_000, 5_000, false);
     public static final Key<Long> FLEET_DRIFT_PERCENT = Key.whole("fleet", "drift_percent", "percent", 0, 40, 5, false);
     public static final Key<Long> FLEET_ELECTION_MS = Key.whole("fleet", "election_ms", "milliseconds", 50, 10_000, 500, false);
@@ -74,13 +86,15 @@
     public static final Key<String> REHEARSAL_GOSSIP_LEASE = Key.text("rehearsal", "gossip_lease", "off, lowest or majority: a lease by what gossip shows alone",
             "off|lowest|majority", "off", false);
 
+    public static final Key<String> REHEARSAL_VERSIONS = Key.text("rehearsal", "versions", "right, or a planted fault: no-confirm, at-commit", "right|no-confirm|at-commit", "right", false);
+
     public static final List<Key<?>> ALL = List.of(EVENTS_LISTEN, EVENTS_REMEMBER_S, EVENTS_WEBHOOK_ORIGINS, EVENTS_WEBHOOK_RATE,
             ACME_DIRECTORY, ACME_NAMES, ACME_FOLDER, ACME_CHALLENGES,
             GOSSIP_LISTEN, GOSSIP_ADVERTISE, GOSSIP_NAME, GOSSIP_KEY_FILE, GOSSIP_ROSTER, GOSSIP_SEEDS, GOSSIP_BYTES, GOSSIP_DATAGRAMS,
             GOSSIP_WEIGH, RULES_FILES, RULES_ZONE, RULES_BODY_BYTES, RULES_BODY_DEPTH, RULES_FIELD_CHARS, RULES_LIST_ITEMS, RULES_BUDGET, RULES_REQUEST_BUDGET,
             RULES_WINDOW_S, RULES_REMEMBER_S,
-            STATE_LEARNED, FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_CERTIFICATES, FLEET_CERTIFICATE_KEY, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
-            REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS, REHEARSAL_GOSSIP_LEASE);
+            DISCOVERY_ADDRESS, STATE_LEARNED, SHARES_MEMBERS, SHARES_HOLD_S, SHARES_CONNECTIONS, SHARES_EACH, SHARES_RETRIES, SHARES_TRIALS, FLEET_LISTEN, FLEET_NAME, FLEET_GROUP, FLEET_MEMBERS, FLEET_FOLDER, FLEET_LEASES, FLEET_DISCOVERY, FLEET_TRIALS, FLEET_CERTIFICATES, FLEET_CERTIFICATE_KEY, FLEET_VERSIONS_BOUND_MS, FLEET_VERSIONS_LEAD_MS, FLEET_VERSIONS_DOUBT, FLEET_TTL_MS, FLEET_DRIFT_PERCENT, FLEET_ELECTION_MS,
+            REHEARSAL_HISTORY, REHEARSAL_STORE, REHEARSAL_ACT_MS, REHEARSAL_CLOCK_PERCENT, REHEARSAL_CLOCK_AHEAD_MS, REHEARSAL_GOSSIP_LEASE, REHEARSAL_VERSIONS);
 
     public static final List<Contradiction> CONTRADICTIONS = List.of(
             new Contradiction(ACME_DIRECTORY, "is set while events.listen is off, allowed: with a front that serves",
@@ -102,6 +116,11 @@
             new Contradiction(GOSSIP_LISTEN, "names a host, allowed: a numeric address, which needs no look-up",
                     s -> gossips(s) && !s.get(GOSSIP_LISTEN).matches("[0-9.]+:\\d+|\\[.*]:\\d+")),
             new Contradiction(GOSSIP_SEEDS, "are more than 16, allowed: at most 16", s -> s.get(GOSSIP_SEEDS).size() > 16),
+            new Contradiction(SHARES_MEMBERS, "is gossip while gossip.listen is off, allowed: off, told", s -> s.get(SHARES_MEMBERS).equals("gossip") && !gossips(s)),
+            new Contradiction(SHARES_TRIALS, "is one without shares.members = gossip, allowed: each, since nobody else says anything",
+                    s -> s.get(SHARES_TRIALS).equals("one") && !s.get(SHARES_MEMBERS).equals("gossip")),
+            new Contradiction(SHARES_TRIALS, "is one, and so is fleet.trials, allowed: one of them",
+                    s -> s.get(SHARES_TRIALS).equals("one") && s.get(FLEET_TRIALS).equals("one")),
             new Contradiction(FLEET_NAME, "is empty, allowed: this member's name with fleet.listen", s -> fleet(s) && s.get(FLEET_NAME).isEmpty()),
             new Contradiction(FLEET_MEMBERS, "are fewer than two, allowed: the group's members as they reach each other",
                     s -> fleet(s) && s.get(FLEET_MEMBERS).size() < 2),
@@ -113,6 +132,11 @@
                     s -> s.get(FLEET_CERTIFICATES).equals("one") && (!fleet(s) || s.get(ACME_DIRECTORY).isEmpty())),
             new Contradiction(FLEET_CERTIFICATE_KEY, "is empty, allowed: a key file with fleet.certificates = one, the same on all members",
                     s -> s.get(FLEET_CERTIFICATES).equals("one") && s.get(FLEET_CERTIFICATE_KEY).isEmpty()),
+            new Contradiction(FLEET_VERSIONS_BOUND_MS, "is set while fleet.listen is off, allowed: 0", s -> s.get(FLEET_VERSIONS_BOUND_MS) > 0 && !fleet(s)),
+            new Contradiction(FLEET_VERSIONS_BOUND_MS, "is less than four elections, allowed: 0, or as long as a change of leaders takes",
+                    s -> s.get(FLEET_VERSIONS_BOUND_MS) > 0 && s.get(FLEET_VERSIONS_BOUND_MS) < 4 * s.get(FLEET_ELECTION_MS)),
+            new Contradiction(REHEARSAL_VERSIONS, "is planted without rehearsal.history, allowed: right",
+                    s -> !s.get(REHEARSAL_VERSIONS).equals("right") && s.get(REHEARSAL_HISTORY).isEmpty()),
             new Contradiction(FLEET_ELECTION_MS, "is more than a third of fleet.ttl_ms, allowed: a lease outlasts two elections",
                     s -> fleet(s) && 3 * s.get(FLEET_ELECTION_MS) > s.get(FLEET_TTL_MS)),
             new Contradiction(REHEARSAL_CLOCK_PERCENT, "is not 100 without rehearsal.history, allowed: a clock is bent in rehearsals alone",
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -7,6 +7,7 @@
 import elderseam.control.Operators;
 import elderseam.control.Verdict;
 import elderseam.core.Clock;
+import elderseam.fleet.config.VersionContent;
 import elderseam.core.Handover;
 import elderseam.core.Journal;
 import elderseam.core.Json;
@@ -52,6 +53,7 @@
     private static final long UNASKED_NS = 10_000 * Clock.MS;       // for clients of a process that has passed its work on
 
     private final Config config;
+    private Config moved;              // as SIGHUP read it last
     private final Io io;
     private final Relay relay;
     private final PlatformFront front;
@@ -71,30 +73,11 @@
     private boolean looking;          // for connections of clients that stand idle in a drain
     private volatile Rules rules;         // null while there are none
     private EventsWiring second; // null while it is off
-    private Gossip gossip;       // null while it is off
-    private Fleet fleet;         // null while it is off
-    private final OneOrder order;   // null where each orders its certificate
+    private Neighbours neighbours;   // null while it is made
     private final List<Server> servers = new ArrayList<>();
     private final long born;
 
-    /** The gossip, as far as the daemon's life goes: none of its classes is loaded while it is off. */
-    interface Gossip {
-        /** Reads what its settings name; what applies it, whole. */
-        Runnable reload(Settings fresh) throws IOException;
-
-        /** Says good-bye to the fleet. */
-        void leave();
-    }
-
-    /** The fleet's leases, likewise. */
-    interface Fleet {
-        Verdict told(Command.Fleet command);
-
-        /** Gives back what it holds, and ends. */
-        void leave();
-    }
-
-    /** The operator's rules, likewise. */
+    /** The operator's rules, as far as the daemon's life goes: none of their classes is loaded while they are off. */
     interface Rules extends Rulings {
         Runnable reload(Settings fresh) throws IOException;
     }
@@ -149,6 +132,7 @@
         this.settings = told.settings();
         this.settingsFile = settingsFile;
         this.config = config;
+        this.moved = config;
         this.io = io;
         this.journal = journal;
         this.control = control;
@@ -166,11 +150,11 @@
         io.onAway(relay::away);
         boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !journal.schemes().isEmpty();
         rules = ruled ? new RulesWiring(io, config.settings(), RulesWiring.load(config.settings(), settings), relay, journal) : null;
-        front = new PlatformFront(io, platform, discovery(config), relay, config.settings(), rules, life);
+        front = new PlatformFront(io, platform, discovery(settings), relay, config.settings(), rules, life);
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
-        discovery = new Discovery(io, platform, discovery(config), hosts, relay);
+        discovery = new Discovery(io, platform, discovery(settings), hosts, relay);
         relay.onWatch(discovery::watch);
-        order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
+        OneOrder order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
         int eventClients = 0;
         if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
             second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules, order);
@@ -180,15 +164,8 @@
         } else {
             servers.add(server(0));
         }
-        if (!settings.get(Keys.GOSSIP_LISTEN).equals("off")) {
-            gossip = new GossipWiring(io, settings, relay);
-        }
-        fleet = fleet();
-    }
-
-    private Fleet fleet() throws IOException {
-        return settings.get(Keys.FLEET_LISTEN).equals("off") ? null : new FleetWiring(io, settings, config.state(),
-                config.seed(), new FleetWiring.Work(relay, discovery, hosts, order));
+        neighbours = new Neighbours(io, config, settings, relay, discovery, hosts, order, this::version);
+        guard();
     }
 
     private Server server(int eventClients) throws IOException {
@@ -223,7 +200,7 @@
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
             Operators operators = new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin,
-                    fleet == null ? null : c -> fleet.told(c));
+                    neighbours.leases() ? neighbours::told : null, neighbours.versions() == null ? null : c -> neighbours.versions().told(c));
             control.handler(c -> succession.state() == Giving.State.GIVEN && !(c instanceof Command.Info)
                     ? Verdict.no("this process passes its work on; ask the newer one, or again") : operators.carryOut(c));
             System.err.println("control on " + control.address());
@@ -276,12 +253,7 @@
         discovery.passOn();
         front.passOn(true);
         upstream.closeIdle();
-        if (gossip != null) {
-            gossip.leave();   // its address is the other process's from now on
-        }
-        if (fleet != null) {
-            fleet.leave();
-        }
+        neighbours.leave();
         return new Frame.Give(discovery.list(), relay.handover().passOn(told), life.drains());
     }
 
@@ -291,8 +263,7 @@
             for (Server s : servers) {
                 s.accept();
             }
-            gossip = gossip == null ? null : new GossipWiring(io, settings, relay);
-            fleet = fleet();
+            neighbours.join();
         } catch (IOException e) {   // the address is another's: this process is of no use any more
             System.err.println("upgrade: " + e);
             Runtime.getRuntime().halt(1);
@@ -335,22 +306,65 @@
         return new UpstreamHost("discovery", config.discovery());
     }
 
-    /** All is read, on the signal's thread, before any of it counts. */
+    /** All is read, on the signal's thread, before any of it counts; a version that the fleet agrees on outranks the own files. */
     private Runnable reading(Map<String, String> variables) throws IOException {
         Config fresh = Config.read(variables);
+        VersionsWiring versions = neighbours.versions();
+        boolean agreed = versions != null && versions.acting().number() > 0;
         Settings told = OperatorFile.settings(settingsFile);
-        Runnable rest = gossip == null ? () -> { } : gossip.reload(told), ruling = ruling(told);
+        Settings counts = agreed ? merged(versions.texts()) : told;
+        Runnable rest = neighbours.reload(told), ruling = agreed ? () -> { } : ruling(told);
         List<String> later = settings.changed(told, Keys.ALL, false);
         return () -> {
-            discovery.move(discovery(fresh));
-            front.move(discovery(fresh));
+            moved = fresh;
+            move(counts);
             rest.run();
             ruling.run();
-            System.err.println("configuration read again, discovery at " + fresh.discovery()
+            System.err.println("configuration read again, discovery at " + discovery(counts).address()
                     + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
         };
     }
 
+    private Settings merged(Path texts) throws IOException {
+        return Settings.read(VersionContent.merged(settingsFile, texts), Keys.ALL, Keys.CONTRADICTIONS);
+    }
+
+    /** A version, read whole, or the own settings; what makes it act. */
+    private Runnable version(Path texts) throws IOException {
+        Settings told = texts == null ? OperatorFile.settings(settingsFile) : merged(texts);
+        Runnable ruling = ruling(told);
+        return () -> {
+            move(told);
+            ruling.run();
+            guard();
+        };
+    }
+
+    private UpstreamHost discovery(Settings told) {
+        String agreed = told.get(Keys.DISCOVERY_ADDRESS);
+        return agreed.isEmpty() ? discovery(moved) : new UpstreamHost("discovery", agreed);
+    }
+
+    private void move(Settings told) {
+        discovery.move(discovery(told));
+        front.move(discovery(told));
+    }
+
+    /** Before the rules, where there are versions: whether they may be acted on. */
+    private void guard() {
+        VersionsWiring versions = neighbours == null ? null : neighbours.versions();
+        if (versions != null) {
+            rulings(versions.guard(rules));
+        }
+    }
+
+    private void rulings(Rulings by) {
+        front.rulings(by);
+        if (second != null) {
+            second.rulings(by);
+        }
+    }
+
     /** What applies the rules, which may be the first. */
     private Runnable ruling(Settings told) throws IOException {
         if (rules != null) {
@@ -363,10 +377,8 @@
         return () -> {
             try {
                 rules = new RulesWiring(io, config.settings(), loaded, relay, journal);
-                front.rulings(rules);
-                if (second != null) {
-                    second.rulings(rules);
-                }
+                rulings(rules);
+                guard();
             } catch (IOException e) {
                 System.err.println("rules: not taken: " + e.getMessage());
             }
@@ -416,12 +428,7 @@
             case GONE -> endsBy = Math.min(endsBy, start + END_NS);
             case GIVEN -> io.at(io.clock.now() + LOOK_NS, () -> drain(start, ended));
             case OWNER -> {
-                if (gossip != null) {
-                    gossip.leave();
-                }
-                if (fleet != null) {
-                    fleet.leave();
-                }
+                neighbours.leave();
                 life.end();
                 servers.forEach(s -> s.closing(true));
                 relay.closing(start + END_NS);
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -33,7 +33,7 @@
  * Wires the fleet's leases; where they are off this class is not loaded. All of it runs on threads of its own, so that
  * neither the engine's start nor its waiting touches the I/O thread: messages are served while the group has no majority.
  */
-final class FleetWiring implements Daemon.Fleet {
+final class FleetWiring {
     private static final long AGAIN_MS = 250;   // another process may have the address and the folder yet
 
     private static final long LEAVING_MS = 1_000;   // of the 3.3 s that a drain has
@@ -44,6 +44,7 @@
     private final OneWatch watch;   // each null where it is off; both of the I/O thread
     private final OneTrial trials;
     private final OneOrder order;
+    private final VersionsWiring versions;
     private final Settings settings;
     private final Path folder;
     private final long seed;
@@ -53,8 +54,8 @@
     private volatile String leader = "";
     private volatile boolean left;
 
-    /** What the tasks act on: the relay's breakers, the watch of discovery, the hosts that it lists, and orders or null. */
-    record Work(Relay relay, Discovery discovery, Hosts hosts, OneOrder order) {}
+    /** What the tasks act on: the relay's breakers, the watch of discovery, the hosts that it lists, orders or null, and who reads versions. */
+    record Work(Relay relay, Discovery discovery, Hosts hosts, OneOrder order, VersionsWiring.Reader reader) {}
 
     FleetWiring(Io io, Settings settings, Path state, long seed, Work work) throws IOException {
         this.io = io;
@@ -71,6 +72,7 @@
         if (order != null) {
             order.joins(this);
         }
+        this.versions = settings.get(Keys.FLEET_VERSIONS_BOUND_MS) > 0 ? new VersionsWiring(io, settings, state, work.reader(), history) : null;
         if (watch != null || trials != null) {
             io.at(clock.now() + LOOK_NS, this::look);
         }
@@ -157,6 +159,9 @@
         Tenure.Bounds bounds = new Tenure.Bounds(settings.get(Keys.FLEET_DRIFT_PERCENT) / 100.0);
         SplittableRandom random = new SplittableRandom(seed ^ settings.get(Keys.FLEET_NAME).hashCode());
         holder = new LeaseHolder(begun, leases(), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
+        if (versions != null) {
+            versions.joins(begun);
+        }
         System.err.println("fleet: " + begun.holder() + " on " + settings.get(Keys.FLEET_LISTEN));
         if (!settings.get(Keys.REHEARSAL_STORE).equals("off")) {
             new Acts(Config.address(settings.get(Keys.REHEARSAL_STORE)), begun.holder(), settings.get(Keys.FLEET_LEASES), holder::tenure,
@@ -172,6 +177,13 @@
             System.err.println("fleet: led by " + by);
         }
 
+        @Override
+        public void versions() {
+            if (versions != null) {
+                versions.news();
+            }
+        }
+
         @Override
         public void freed(String lease) {
             LeaseHolder h = holder;
@@ -230,8 +242,13 @@
         }
     }
 
-    @Override
-    public Verdict told(Command.Fleet command) {
+    /** The versions that the fleet agrees on, or null. */
+    VersionsWiring versions() {
+        return versions;
+    }
+
+    /** What an operator is answered. */
+    Verdict told(Command.Fleet command) {
         LeaseGroup now = group;
         if (now == null || holder == null) {
             return Verdict.no("the fleet's engine starts yet");
@@ -255,9 +272,12 @@
         }
     }
 
-    @Override
-    public void leave() {
+    /** Gives back what it holds, and ends. */
+    void leave() {
         left = true;
+        if (versions != null) {
+            versions.leave();
+        }
         CompletableFuture<Void> givenBack = holder == null ? CompletableFuture.completedFuture(null) : holder.leave();
         Thread end = new Thread(() -> {
             try {
--- a/src/main/java/elderseam/wiring/GossipWiring.java
+++ b/src/main/java/elderseam/wiring/GossipWiring.java
@@ -23,7 +23,7 @@
 import java.util.Map;
 
 /** Wires the gossip to the relay; where it is off this class is not loaded. */
-final class GossipWiring implements Daemon.Gossip {
+final class GossipWiring implements ShareWiring.Members {
     private static final Map<Sender.Standing, Claim.State> STATES = Map.of(Sender.Standing.CLOSED, Claim.State.CLOSED,
             Sender.Standing.HALF_OPEN, Claim.State.HALF_OPEN, Sender.Standing.OPEN, Claim.State.OPEN);
 
@@ -50,8 +50,7 @@
     /** A rehearsal's lease by what gossip shows alone. */
     private void look(Io io, GossipLease lease) {
         if (!left) {
-            lease.look(post.members().stream().filter(m -> m.standing() == Standing.ALIVE || m.standing() == Standing.SUSPECT).map(Rumour::member).toList(),
-                    io.clock.wallMs());
+            lease.look(others(), io.clock.wallMs());
             io.at(io.clock.now() + GossipLease.LOOK_NS / 2, () -> look(io, lease));
         }
     }
@@ -72,7 +71,29 @@
     }
 
     @Override
-    public Runnable reload(Settings fresh) throws IOException {
+    public String self() {
+        return opening.place().name();
+    }
+
+    @Override
+    public List<String> present() {
+        List<String> all = new ArrayList<>(others());
+        all.add(self());
+        return all;
+    }
+
+    private List<String> others() {
+        return post.members().stream().filter(m -> (m.standing() == Standing.ALIVE || m.standing() == Standing.SUSPECT) && !m.member().equals(self()))
+                .map(Rumour::member).toList();
+    }
+
+    @Override
+    public List<Claim> claims(long destination) {
+        return post.claims(destination);
+    }
+
+    /** Reads what its settings name; what applies it, whole. */
+    Runnable reload(Settings fresh) throws IOException {
         if (fresh.get(Keys.GOSSIP_LISTEN).equals("off")) {   // from the next start; until then it goes on as it is
             return () -> { };
         }
@@ -85,8 +106,8 @@
         };
     }
 
-    @Override
-    public void leave() {
+    /** Says good-bye to the fleet. */
+    void leave() {
         left = true;
         post.leave();
     }
--- /dev/null
+++ b/src/main/java/elderseam/wiring/ShareWiring.java
@@ -0,0 +1,140 @@
+package elderseam.wiring;
+
+import elderseam.core.Clock;
+import elderseam.core.Relay;
+import elderseam.fleet.share.FleetSize;
+import elderseam.fleet.share.Subsets;
+import elderseam.fleet.share.TurnDuty;
+import elderseam.gossip.Claim;
+import elderseam.http.Io;
+import elderseam.module.Sender;
+import elderseam.platform.Hosts;
+import elderseam.settings.Keys;
+import elderseam.settings.Settings;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells the module what its part is of what the whole fleet does, by the members that there are; of the I/O thread. Where shares
+ * are off this class is not loaded.
+ */
+final class ShareWiring {
+    /** The members as one source has them; each list is this one's own to keep. */
+    interface Members {
+        /** This one's name, as it stands among {@link #present}. */
+        String self();
+
+        /** Who is there, this one among them. */
+        List<String> present();
+
+        /** What others say of a destination that counts yet. */
+        List<Claim> claims(long destination);
+    }
+
+    /** So many members that the platform told of, and which of them this one is; they say nothing. */
+    record Told(int number, int count) implements Members {
+        private static String name(int i) {
+            return "m" + i;
+        }
+
+        @Override
+        public String self() {
+            return name(number);
+        }
+
+        @Override
+        public List<String> present() {
+            return java.util.stream.IntStream.range(0, count).mapToObj(Told::name).toList();
+        }
+
+        @Override
+        public List<Claim> claims(long destination) {
+            return List.of();
+        }
+    }
+
+    private static final long LOOK_NS = 250 * Clock.MS, DEFER_NS = 500 * Clock.MS, IDLE_NS = 2_000 * Clock.MS;
+
+    private final Io io;
+    private final Relay relay;
+    private final Hosts hosts;
+    private final Members members;
+    private final FleetSize size;
+    private final int connections, each;
+    private final double retries;
+    private final boolean turns;
+    private final Map<Long, TurnDuty> duties = new HashMap<>();
+    private Set<String> preferred = Set.of(), known = Set.of();
+    private List<String> names = List.of();
+    private int sharers;
+    private boolean left;
+
+    ShareWiring(Io io, Settings s, Relay relay, Hosts hosts, int told, Members members) {
+        this.io = io;
+        this.relay = relay;
+        this.hosts = hosts;
+        this.members = members;
+        this.size = new FleetSize(told, s.get(Keys.SHARES_HOLD_S) * 1_000 * Clock.MS);
+        this.connections = s.get(Keys.SHARES_CONNECTIONS).intValue();
+        this.each = s.get(Keys.SHARES_EACH).intValue();
+        this.retries = s.get(Keys.SHARES_RETRIES) / 100.0;
+        this.turns = s.get(Keys.SHARES_TRIALS).equals("one");
+        look();
+    }
+
+    void leave() {
+        left = true;
+    }
+
+    private void look() {
+        if (left) {
+            return;
+        }
+        List<String> present = members.present().stream().sorted().toList();
+        size.seen(io.clock.now(), present.size());
+        int now = size.sharers(io.clock.now());
+        Map<Long, List<String>> listed = hosts.all();
+        Set<String> ids = new HashSet<>();
+        listed.values().forEach(ids::addAll);
+        if (now != sharers || !present.equals(names) || !ids.equals(known)) {
+            if (now != sharers || present.size() != names.size()) {
+                System.err.println("shares: " + present.size() + " members, limits are divided by " + now);
+            }
+            sharers = now;
+            names = present;
+            known = ids;
+            preferred = preferred(listed);
+            relay.part(sharers, e -> preferred.contains(e) || !known.contains(e), retries);   // one that is new is not passed over
+        }
+        if (turns) {
+            relay.breakers(this::turn);
+        }
+        io.at(io.clock.now() + LOOK_NS, this::look);
+    }
+
+    private Set<String> preferred(Map<Long, List<String>> listed) {
+        Set<String> all = new HashSet<>();
+        listed.values().forEach(endpoints -> {
+            int k = Subsets.size(names.size(), endpoints.size(), connections, each);
+            all.addAll(k >= endpoints.size() ? endpoints : Subsets.all(Subsets.Way.BOUNDED, names, endpoints, k).getOrDefault(members.self(), endpoints));
+        });
+        return all;
+    }
+
+    private void turn(long destination, Sender.Breaker breaker) {
+        TurnDuty.Standing own = TurnDuty.Standing.valueOf(breaker.standing().name());
+        TurnDuty duty = own == TurnDuty.Standing.CLOSED ? duties.remove(destination)
+                : duties.computeIfAbsent(destination, d -> new TurnDuty(Long.toString(d), members.self(), IDLE_NS));
+        if (duty == null || own == TurnDuty.Standing.CLOSED) {
+            return;
+        }
+        List<TurnDuty.Other> others = members.claims(destination).stream().filter(c -> !c.reporter().equals(members.self()))
+                .map(c -> new TurnDuty.Other(c.reporter(), TurnDuty.Standing.valueOf(c.state().name()))).toList();
+        if (duty.defers(io.clock.now(), own, others)) {
+            relay.defer(hosts.of(destination), DEFER_NS);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/rig/SharesTest.java
@@ -0,0 +1,124 @@
+package elderseam.fleet.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Choices of eight real processes that add up: even subsets, limits divided by who is there, one trial by turns. Off and on in one run. */
+class SharesTest {
+    private static final String SHARES = "[shares]\nmembers = gossip\nhold_s = 2\nendpoint_connections = 2\nconnections_each = 1\n";
+
+    @TempDir
+    Path folder;
+
+    private static Plan plan(int members) {
+        return new Plan(members, 1_200, 5, 150, 1_000, Map.of(), List.of());
+    }
+
+    private static long by(long seconds) {
+        return System.nanoTime() + seconds * 1_000_000_000L;
+    }
+
+    private static List<String> living(Cluster c) {
+        return c.group().stream().filter(g -> c.member(g).alive()).toList();
+    }
+
+    /** The most calls at an endpoint over the mean, of so many messages handed in at each member, one after the other. */
+    private static double unevenness(Cluster c, int messages) throws Exception {
+        long[] before = c.outside().calls();
+        for (int i = 0; i < messages; i++) {
+            for (String name : living(c)) {
+                assertEquals(202, c.outside().send(c.member(name).ready(), 1).get(10, TimeUnit.SECONDS));
+            }
+        }
+        long sum = 0, delivered = by(10);
+        long[] now = c.outside().calls();
+        while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum()) < (long) messages * living(c).size()) {
+            assertTrue(System.nanoTime() < delivered, sum + " calls");
+            Cluster.pause(20);   // the calls follow their answers
+            now = c.outside().calls();
+        }
+        long most = 0;
+        for (int i = 0; i < now.length; i++) {
+            most = Math.max(most, now[i] - before[i]);
+        }
+        return most * (double) now.length / sum;
+    }
+
+    @Test
+    void aHerdIsSeenAndSubsetsStayEven() throws Exception {
+        double off, on;
+        try (Cluster c = new Cluster(plan(8), folder.resolve("off"), Cluster.Setup.OFF, 4)) {
+            off = unevenness(c, 20);
+        }
+        try (Cluster c = new Cluster(plan(8), folder.resolve("on"), Cluster.Setup.gossiping(SHARES), 4)) {
+            assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "all see all");
+            on = unevenness(c, 20);
+            System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off + " each for itself, " + on + " by subsets");
+            assertTrue(on < 1.15, on + " by subsets, " + off + " without");
+            for (int i = 4; i <= 8; i++) {
+                c.befall(Fault.parse(0, "crash n" + i));
+            }
+            long from = System.nanoTime();
+            assertTrue(unevenness(c, 5) > 0, "the three that are left deliver all the same");
+            assertTrue(c.say("shares: ", "3 members, limits are divided by 3", 3, by(45)), "a herd that has gone");
+            System.out.println("seen after " + (System.nanoTime() - from) / 1_000_000 + " ms, of which 2 s are held");
+            c.heal(true);
+            assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "and come back");
+            assertTrue(unevenness(c, 20) < 1.15);
+        }
+    }
+
+    private static void feed(Cluster c, List<String> at, long ms) throws Exception {
+        long until = System.nanoTime() + ms * 1_000_000;
+        while (System.nanoTime() < until) {
+            for (String member : at) {
+                c.outside().send(member, 1).get(10, TimeUnit.SECONDS);
+            }
+            Cluster.pause(50);   // the traffic's own pace
+        }
+    }
+
+    private static long callsInAnOutage(Cluster c) throws Exception {
+        List<String> at = new ArrayList<>();
+        for (String name : c.group()) {
+            at.add(c.member(name).ready());
+        }
+        c.outside().fail(true);
+        feed(c, at, 4_000);
+        long before = c.outside().failed();
+        feed(c, at, 8_000);
+        long calls = c.outside().failed() - before;
+        c.outside().fail(false);
+        long delivered = c.outside().delivered(), until = by(20);
+        while (c.outside().delivered() < delivered + 40) {   // more than one member could deliver in the time alone
+            assertTrue(System.nanoTime() < until, "not delivered again after the outage");
+            feed(c, at, 200);
+        }
+        return calls;
+    }
+
+    /** The trial by turns needs datagrams alone; while links lose a third of them it is still no more than each for itself. */
+    @Test
+    void oneTriesByTurns() throws Exception {
+        long each, one;
+        try (Cluster c = new Cluster(plan(4), folder.resolve("off"), Cluster.Setup.gossiping(""))) {
+            each = callsInAnOutage(c);
+        }
+        try (Cluster c = new Cluster(plan(4), folder.resolve("on"), Cluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
+            assertTrue(c.say("shares: ", "4 members, limits are divided by 4", 4, by(30)), "all see all");
+            c.befall(Fault.parse(0, "lose 30"));
+            one = callsInAnOutage(c);
+        }
+        System.out.println("calls in 8 s of an outage: " + each + " each for itself, " + one + " by turns");
+        assertTrue(5 * one <= 3 * each, one + " calls by turns, " + each + " each for itself");
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/module/PartTest.java
@@ -0,0 +1,36 @@
+package elderseam.module;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The bound on further tries: the same share for each, so the sum of all keeps to it. */
+class PartTest {
+    private static final long S = 1_000_000_000L;
+
+    @Test
+    void furtherTriesKeepToTheirShareOfFirstOnes() {
+        RetryBudget b = new RetryBudget();
+        int again = 0;
+        for (int i = 0; i < 1_000; i++) {
+            b.tried(i * S / 10, 0.2, 0);
+            again += b.again(i * S / 10, 0.2, 0) ? 1 : 0;
+        }
+        assertTrue(again >= 195 && again <= 206, again + " further tries of 1000 first ones");
+    }
+
+    @Test
+    void aFewMayAlwaysGoAgainAndNotMoreForWaiting() {
+        RetryBudget b = new RetryBudget();
+        assertTrue(b.again(0, 0.1, 0.5));
+        assertFalse(b.again(0, 0.1, 0.5));
+        assertTrue(b.again(2 * S, 0.1, 0.5), "half a one a second");
+        int saved = 0;
+        while (b.again(10_000 * S, 0.1, 0.5)) {
+            saved++;
+        }
+        assertEquals(7, saved, "ten seconds of the rate and twenty first tries' share");
+    }
+}
--- a/src/test/java/elderseam/settings/SettingsTest.java
+++ b/src/test/java/elderseam/settings/SettingsTest.java
@@ -47,7 +47,7 @@
                 "s.ini:3: events.listen: '127.0.0.1' can't be used, allowed: off, or ADDRESS:PORT",
                 "s.ini:4: events.remember_s: '0' can't be used, allowed: 1 to 2592000 seconds",
                 "s.ini:7: events.colour: unknown key, allowed: listen, remember_s, webhook_origins, webhook_rate_per_minute",
-                "s.ini:9: gossipp.listen: unknown section, allowed: events, acme, gossip, rules, state, fleet, rehearsal"),
+                "s.ini:9: gossipp.listen: unknown section, allowed: events, acme, gossip, rules, discovery, state, shares, fleet, rehearsal"),
                 faults("stray = 1\n[events]\nlisten = 127.0.0.1\nremember_s = 0\nno setting at all\nlisten = off\ncolour = red\n"
                         + "[gossipp]\nlisten = off\n"));
     }
