Versions the fleet agrees on, rehearsed; the group asks the leader its own server knows

Seen: with a member cut off, proposals failed after six tries, all six to the member that was cut off (the engine's client keeps its last guess); and one that had lost its lead for want of answers logged 'Skipping leader election since it stepped down recently (waitTime = 10s)', so elections among the two that are left took up to 6 s. Ruled out: the one event loop of the engine's Netty (12 kills side by side, p50 1.2 s with one, 2.5 with four).

--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -169,7 +169,8 @@
     }
 
     @Command(name = "config", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "What the operator's settings say.", subcommands = {Check.class, Show.class})
+            description = "What the operator's settings say, and the versions that a fleet agrees on.", subcommands = {Check.class, Show.class,
+            VersionsCommand.Propose.class, VersionsCommand.Status.class, VersionsCommand.Diff.class, VersionsCommand.Rollback.class})
     static final class ConfigCommand extends Group {
     }
 
--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -22,14 +22,14 @@
     static final class Test implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--scenario", defaultValue = "leases", paramLabel = "FILE|leases",
-                description = "a file with faults, or leases under random faults (${DEFAULT-VALUE})")
+        @Option(names = "--scenario", defaultValue = "leases", paramLabel = "FILE|leases|versions",
+                description = "a file with faults, or leases or versions under random faults (${DEFAULT-VALUE})")
         private String scenario;
         @Option(names = "--rounds", defaultValue = "20", description = "1 to 100000 (${DEFAULT-VALUE})")
         private int rounds;
         @Option(names = "--seed", defaultValue = "1", description = "of the random faults; one seed gives one schedule (${DEFAULT-VALUE})")
         private long seed;
-        @Option(names = "--plant", paramLabel = "NAME", description = "a fault that a checker must find: no-margin, no-fence, no-heal, gossip or gossip-majority")
+        @Option(names = "--plant", paramLabel = "NAME", description = "a fault that a checker must find: no-margin, no-fence, no-heal, gossip, gossip-majority, no-confirm or at-commit")
         private String plant;
         @Option(names = "--folder", paramLabel = "DIR", description = "where histories, logs and the members' folders are left; a temporary one unless told")
         private Path folder;
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -88,6 +88,9 @@
     }
 
     private String propose(Command c) {
+        if (asked(c, pending()) || asked(c, latest())) {
+            return "";   // the same once more, since its answer was lost
+        }
         if (c.number() != latest().number()) {
             return "made from version " + c.number() + ", the latest is " + latest().number();
         }
@@ -102,6 +105,10 @@
         return "";
     }
 
+    private static boolean asked(Command c, Version v) {
+        return v != null && v.number() > 0 && v.parent() == c.number() && v.author().equals(c.member()) && v.note().equals(c.note()) && v.texts().equals(c.texts());
+    }
+
     private String checked(Command c) {
         if (pending == null || pending.version.number() != c.number()) {
             return "version " + c.number() + " is not looked at";
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -48,6 +48,7 @@
     private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
 
     public static final long SNAPSHOT_EVERY = 2_000;
+    private static final int TRIES = 3;
 
     /** The engine's own copy of Netty would take two threads and two arenas of memory a core, for a few messages a second. */
     private static final String NETTY = "org.apache.ratis.thirdparty.io.netty.";
@@ -63,14 +64,19 @@
 
     private final RaftServer server;
     private final LeaseMachine machine;
-    private final RaftClient client;
+    private final RaftGroup founding;
+    private final RaftProperties properties;
     private final String holder;
     private final java.util.concurrent.ExecutorService asker;
 
-    private LeaseGroup(RaftServer server, LeaseMachine machine, RaftClient client, String self, String holder) {
+    private RaftClient client;      // of the asking thread, and closed by the last
+    private RaftPeerId asks;        // whom it takes for the leader
+
+    private LeaseGroup(RaftServer server, LeaseMachine machine, RaftGroup founding, RaftProperties properties, String self, String holder) {
         this.server = server;
         this.machine = machine;
-        this.client = client;
+        this.founding = founding;
+        this.properties = properties;
         this.holder = holder;
         this.asker = java.util.concurrent.Executors.newSingleThreadExecutor(r -> {
             Thread t = new Thread(r, "lease-asker-" + self);
@@ -106,14 +112,14 @@
                 .setStateMachine(machine).setProperties(properties)
                 .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
         server.start();
-        return new LeaseGroup(server, machine, client(group, properties), o.self(), o.self() + "/" + o.life());
+        return new LeaseGroup(server, machine, group, properties, o.self(), o.self() + "/" + o.life());
     }
 
     /** Makes these the group's members, all at once, while leases are held; done once the group has agreed. */
     public CompletableFuture<Void> members(Map<String, InetSocketAddress> wanted) {
         return CompletableFuture.runAsync(() -> {
             try {
-                RaftClientReply reply = client.admin().setConfiguration(peers(wanted));
+                RaftClientReply reply = client().admin().setConfiguration(peers(wanted));
                 if (!reply.isSuccess()) {
                     throw new IOException("lease group: " + reply.getException());
                 }
@@ -145,6 +151,9 @@
         RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.NETTY);
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Rpc.setTimeoutMax(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
+        // One that has lost its lead for want of answers lets others stand first, by the engine's default for 10 s: where the others were
+        // the ones that were cut off, nobody would stand so long.
+        RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
         // A request to a member that is gone waits this long before the client turns to the next one.
         RaftClientConfigKeys.Rpc.setRequestTimeout(properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
         // The table is small and each command short: a snapshot every so often, and the log before it goes.
@@ -160,13 +169,51 @@
         return properties;
     }
 
-    private static RaftClient client(RaftGroup group, RaftProperties properties) {
-        return RaftClient.newBuilder().setProperties(properties).setRaftGroup(group).setClientId(ClientId.randomId())
-                .setParameters(new Parameters())
-                // A request that meets a member who does not lead goes on to the one it names; the count bounds a group
-                // with no majority, which then answers with a failure and the caller treats it as refused.
-                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(6, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)))
-                .build();
+    /**
+     * Asks the leader that the own server knows of. The engine's client goes by its last guess: where that one was cut off without a
+     * word, all six tries of a request were seen to go to it, and those of the next request too.
+     */
+    private RaftClient client() throws IOException {
+        RaftServer.Division own = server.getDivision(founding.getGroupId());
+        RaftPeerId leader = own.getInfo().getLeaderId();
+        if (client != null && leader != null && !leader.equals(asks)) {
+            forget();
+        }
+        if (client == null) {
+            RaftGroup now = own.getGroup().getPeers().isEmpty() ? founding : own.getGroup();
+            RaftClient.Builder b = RaftClient.newBuilder().setProperties(properties).setRaftGroup(now).setClientId(ClientId.randomId())
+                    .setParameters(new Parameters())
+                    // A request that meets a member who does not lead goes on to the one it names.
+                    .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(2, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)));
+            asks = leader != null && now.getPeer(leader) != null ? leader : null;
+            client = (asks == null ? b : b.setLeaderId(asks)).build();
+        }
+        return client;
+    }
+
+    private void forget() {
+        try {
+            client.close();
+        } catch (IOException e) {
+            // gone all the same
+        }
+        client = null;
+    }
+
+    /** Some tries, each at whom the own server knows for the leader by then; a group with no majority answers none of them. */
+    private RaftClientReply send(Message message) throws IOException {
+        for (int i = 1; ; i++) {
+            try {
+                return client().io().send(message);
+            } catch (IOException e) {
+                if (client != null) {
+                    forget();
+                }
+                if (i == TRIES) {
+                    throw e;
+                }
+            }
+        }
     }
 
     /** Who this member is in the table: its name, and which of its lives. */
@@ -215,7 +262,7 @@
         // closed member for over 20 s. Its one thread keeps the calls in order and off every caller's thread.
         return CompletableFuture.supplyAsync(() -> {
             try {
-                return outcome(client.io().send(message), decoded);
+                return outcome(send(message), decoded);
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
             }
@@ -236,7 +283,9 @@
     @Override
     public void close() throws IOException {
         asker.shutdownNow();
-        client.close();
+        if (client != null) {
+            client.close();
+        }
         server.close();
     }
 }
--- a/src/main/java/elderseam/fleet/rig/Checkers.java
+++ b/src/main/java/elderseam/fleet/rig/Checkers.java
@@ -134,6 +134,120 @@
         return found;
     }
 
+    /** How long one process acted on one version, of the machine's clock. */
+    private record Acting(String process, long number, long from, long until) {}
+
+    /**
+     * No two processes act on different versions for longer than {@code mostMs}. A process acts on a version from when it says so until
+     * it says something else, is killed or stopped, or until the instant up to which it said it would without another word. In rounds in
+     * which one member led throughout all switch within {@code stepMs}, whatever is cut off or stalled.
+     */
+    List<String> agreement(long mostMs, long stepMs) {
+        List<String> found = new ArrayList<>();
+        longest(false).filter(d -> d.ns > mostMs * 1_000_000).ifPresent(d -> found.add("agreement: " + d + ", at most " + mostMs + " ms allowed"));
+        longest(true).filter(d -> d.ns > stepMs * 1_000_000).ifPresent(d -> found.add("agreement: " + d + " while one member led, at most " + stepMs
+                + " ms allowed"));
+        Map<Long, String> hashes = new HashMap<>();
+        for (JsonNode l : lines) {
+            if (l.get("type").asText().equals("acting")) {
+                String hash = l.get("hash").asText(), first = hashes.putIfAbsent(l.get("number").asLong(), hash);
+                if (first != null && !first.equals(hash)) {
+                    found.add("agreement: version " + l.get("number").asLong() + " is " + first + " and " + hash);
+                }
+            }
+        }
+        return found;
+    }
+
+    /** The longest time in which two acted on different versions, in milliseconds; {@code steady}: of those in rounds in which
+     *  one member led. */
+    long longestDisagreementMs(boolean steady) {
+        return longest(steady).map(d -> d.ns / 1_000_000).orElse(0L);
+    }
+
+    private record Disagreement(Acting a, Acting b, long ns) {
+        @Override
+        public String toString() {
+            return a.process + " acted on version " + a.number + " and " + b.process + " on version " + b.number + " for " + ns / 1_000_000 + " ms";
+        }
+    }
+
+    private record Span(long from, long to) {}
+
+    /** The rounds in which one member led throughout, as the rig says at the end of each. */
+    private List<Span> steady() {
+        List<Span> all = new ArrayList<>();
+        long began = -1;
+        for (JsonNode l : lines) {
+            String type = l.get("type").asText();
+            long at = l.get("at_ns").asLong();
+            if (type.equals("round")) {
+                began = at;
+            } else if (type.equals("steady") && began >= 0) {
+                all.add(new Span(began, at));
+            }
+        }
+        return all;
+    }
+
+    private java.util.Optional<Disagreement> longest(boolean steady) {
+        List<Acting> all = actings();
+        List<Span> spans = steady ? steady() : List.of();
+        Disagreement longest = null;
+        List<Acting> open = new ArrayList<>();
+        for (Acting a : all) {   // by their beginnings
+            open.removeIf(o -> o.until <= a.from);
+            for (Acting o : open) {
+                long ns = Math.min(o.until, a.until) - a.from;
+                if (o.number != a.number && !o.process.equals(a.process) && (longest == null || ns > longest.ns) && (!steady || spans.stream().anyMatch(p -> p.from <= a.from && a.from <= p.to))) {
+                    longest = new Disagreement(o, a, ns);
+                }
+            }
+            open.add(a);
+        }
+        return java.util.Optional.ofNullable(longest);
+    }
+
+    /** Each process's acting, spans of one version joined, in the order of their beginnings. */
+    private List<Acting> actings() {
+        List<Acting> all = new ArrayList<>();
+        Map<String, Acting> now = new HashMap<>(), stopped = new HashMap<>();
+        long last = lines.isEmpty() ? 0 : lines.get(lines.size() - 1).get("at_ns").asLong();
+        for (JsonNode l : lines) {
+            String type = l.get("type").asText();
+            long at = l.get("at_ns").asLong();
+            if (type.equals("acting")) {
+                String process = l.get("process").asText();
+                long number = l.get("number").asLong(), until = l.get("until_ns").asLong();
+                Acting before = now.get(process);
+                if (before != null && before.number == number && before.until >= at) {
+                    now.put(process, new Acting(process, number, before.from, until));
+                } else {
+                    ends(all, before, at);
+                    now.put(process, new Acting(process, number, at, until));
+                }
+            } else if (type.equals("killed") || type.equals("stopped")) {
+                Acting a = now.remove(l.get("member").asText());
+                ends(all, a, at);
+                if (a != null && type.equals("stopped")) {
+                    stopped.put(a.process, a);
+                }
+            } else if (type.equals("resumed") && stopped.containsKey(l.get("member").asText())) {
+                Acting a = stopped.remove(l.get("member").asText());   // it goes on where it was, for what is left of its word
+                now.put(a.process, new Acting(a.process, a.number, at, a.until));
+            }
+        }
+        now.values().forEach(a -> ends(all, a, last));
+        all.sort(Comparator.comparingLong(Acting::from));
+        return all;
+    }
+
+    private static void ends(List<Acting> all, Acting a, long at) {
+        if (a != null && Math.min(a.until, at) > a.from) {
+            all.add(new Acting(a.process, a.number, a.from, Math.min(a.until, at)));
+        }
+    }
+
     /** Milliseconds from each kill of the acting holder, or from when it was told to end, to the first act of a later token. */
     List<Long> takeovers() {
         List<Long> all = new ArrayList<>();
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -164,8 +165,15 @@
         String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
         Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.gossip().isEmpty() ? gossip(name) : !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
                 + "\nname = " + name + "\nmembers = " + peers + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
-                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + setup.lines().apply(name) + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
-                + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = " + plan.clocks().getOrDefault(name, 100) + "\n");
+                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + lines(name, "[rehearsal]\nhistory = "
+                + folder.resolve(name + ".jsonl") + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = "
+                + plan.clocks().getOrDefault(name, 100) + "\n"));
+    }
+
+    /** The setup's lines, and those of a rehearsal; where the setup has some of that section itself, they stand together. */
+    private String lines(String name, String rehearsal) {
+        String own = setup.lines().apply(name);
+        return own.contains("[rehearsal]\n") ? own.replace("[rehearsal]\n", rehearsal) : own + rehearsal;
     }
 
     private String gossip(String name) {
@@ -222,6 +230,7 @@
             case "stall" -> {
                 if (members.get(whom.get(0)).alive()) {
                     members.get(whom.get(0)).stall();
+                    history.add("stopped", "member", whom.get(0));
                     stalled.put(whom.get(0), System.nanoTime() + ms * 1_000_000);
                 }
             }
@@ -357,6 +366,52 @@
         return true;
     }
 
+    Path folder() {
+        return folder;
+    }
+
+    /** Who leads, by the last word of any member. */
+    String leader() {
+        return leader;
+    }
+
+    /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
+    String propose(String name, Path file, String note) throws IOException {
+        if (!members.get(name).alive()) {
+            return "";
+        }
+        String latest = value(members.get(name).told("CONFIG"), "latest").split(" ")[0];
+        String answer = latest.isEmpty() ? "" : members.get(name).told("CONFIG PROPOSE " + latest + " " + file + " " + note);
+        history.add("propose", "at", name, "answer", answer.strip());
+        return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
+    }
+
+    static String value(String answer, String name) {
+        return answer.lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
+    }
+
+    /** Waits until all living members act on one version that is the latest, none in doubt and nothing pending; its hash, or an error after {@code byNs}. */
+    String agreed(long byNs) throws IOException {
+        while (true) {
+            Set<String> acting = new java.util.TreeSet<>();
+            boolean sure = true;
+            for (String g : group) {
+                if (members.get(g).alive()) {
+                    String s = members.get(g).told("CONFIG");
+                    acting.add(value(s, "acting"));
+                    sure &= value(s, "acting").equals(value(s, "latest")) && value(s, "doubt").equals("no") && value(s, "pending").equals("none");
+                }
+            }
+            if (sure && acting.size() == 1) {
+                return acting.iterator().next().split(" ")[1];
+            }
+            if (System.nanoTime() > byNs) {
+                throw new IOException("the members do not agree on a version: " + acting);
+            }
+            pause(20);   // members are asked; they tell nothing unasked
+        }
+    }
+
     /** Waits until so many living members' last word of those that begin with {@code about} is {@code word}; false where it is not by {@code byNs}. */
     boolean say(String about, String word, long count, long byNs) throws IOException {
         synchronized (saying) {
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/fleet/rig/FleetRun.java
@@ -14,7 +14,7 @@
 /** A fleet test: rounds of faults against one cluster, and the checkers' word on its whole history. */
 public final class FleetRun {
     /** The faults that can be planted, each to be caught by one checker. */
-    public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority");
+    public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority", "no-confirm", "at-commit");
     /** A test's terms: {@code scenario} a file, or {@code leases}; {@code plant} one of {@link #PLANTS}, or null. */
     public record Terms(String scenario, int rounds, long seed, String plant, Path folder) {}
 
@@ -27,6 +27,8 @@
         }
     }
 
+    /** The scenario of versions under a nemesis. */
+    public static final String VERSIONS = "versions";
     static final long LIVENESS_MS = 20_000;   // after a heal: two terms, some elections, and a loaded machine's pace
 
     private FleetRun() {}
@@ -45,12 +47,12 @@
         if (onGossip(t)) {
             return Plan.gossip();
         }
-        Plan plan = t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
+        Plan plan = onVersions(t) ? Plan.versions("at-commit".equals(t.plant()) ? 5 : 3) : t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
         return "no-margin".equals(t.plant()) ? plan.withoutMargin() : plan;
     }
 
     private static List<Fault> faults(Plan plan, Terms t, int n) {
-        return plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
+        return onVersions(t) ? VersionRun.faults(plan, t, n) : plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
     }
 
     /** Plays it; {@code tell} is given a line a round. */
@@ -61,6 +63,9 @@
     static Result run(Plan plan, Terms t, Consumer<String> tell) throws IOException {
         Files.createDirectories(t.folder());
         long began = System.nanoTime();
+        if (onVersions(t)) {
+            return VersionRun.run(plan, t, tell);
+        }
         if (onGossip(t)) {
             return gossip(plan, t, t.plant().equals("gossip") ? "lowest" : "majority", tell);
         }
@@ -80,6 +85,10 @@
         }
     }
 
+    private static boolean onVersions(Terms t) {
+        return t.scenario().equals(VERSIONS) || t.plant() != null && VersionRun.PLANTS.contains(t.plant());
+    }
+
     private static boolean onGossip(Terms t) {
         return t.plant() != null && t.plant().startsWith("gossip");
     }
@@ -103,7 +112,7 @@
         }
     }
 
-    private static void play(Cluster c, Plan plan, List<Fault> faults) throws IOException {
+    static void play(Cluster c, Plan plan, List<Fault> faults) throws IOException {
         long began = System.nanoTime(), ends = began + plan.roundMs() * 1_000_000;
         for (Fault f : faults) {
             until(c, began + f.atMs() * 1_000_000);
--- a/src/main/java/elderseam/fleet/rig/Plan.java
+++ b/src/main/java/elderseam/fleet/rig/Plan.java
@@ -26,6 +26,16 @@
         return new Plan(3, 1_200, 5, 150, 2_000, Map.of("n1", 105), List.of());
     }
 
+    /** Versions under a nemesis; a round outlasts a commit that waits for who is cut off, its lead, and the bound. */
+    static Plan versions(int members) {
+        return new Plan(members, 1_200, 5, 150, 4_000, Map.of("n1", 105), List.of());
+    }
+
+    /** The same with rounds of another length. */
+    Plan lasting(long ms) {
+        return new Plan(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
+    }
+
     /** A lease on gossip alone, and a cut for longer than its suspicions last (4 s at three members). */
     static Plan gossip() {
         return new Plan(3, 1_200, 5, 150, 12_000, Map.of(), List.of(Fault.parse(500, "isolate n1")));
--- a/src/main/java/elderseam/wiring/VersionsWiring.java
+++ b/src/main/java/elderseam/wiring/VersionsWiring.java
@@ -207,7 +207,7 @@
             } catch (IOException | RuntimeException e) {
                 System.err.println("versions: " + e);
             }
-            LockSupport.parkNanos(boundMs * Clock.MS / 5);
+            LockSupport.parkNanos(boundMs * Clock.MS / 4);   // one answer may be lost, and one late
         }
     }
 
