--- a/src/main/java/elderseam/fleet/rig/Checkers.java
+++ b/src/main/java/elderseam/fleet/rig/Checkers.java
@@ -172,6 +172,23 @@
         }
     }
 
+    /** Milliseconds from each proposal that was committed to the first member that acted on it. */
+    List<Long> effects() {
+        Map<String, Long> proposed = new HashMap<>();
+        List<Long> all = new ArrayList<>();
+        for (JsonNode l : lines) {
+            if (l.get("type").asText().equals("propose") && l.get("answer").asText().startsWith("200 asked ")) {
+                proposed.putIfAbsent(l.get("answer").asText().split("[ ;]")[2], l.get("at_ns").asLong());
+            } else if (l.get("type").asText().equals("acting")) {
+                Long from = proposed.remove(l.get("hash").asText());
+                if (from != null) {
+                    all.add((l.get("at_ns").asLong() - from) / 1_000_000);
+                }
+            }
+        }
+        return all;
+    }
+
     private record Span(long from, long to) {}
 
     /** The rounds in which one member led throughout, as the rig says at the end of each. */
--- a/src/main/java/elderseam/fleet/rig/VersionRun.java
+++ b/src/main/java/elderseam/fleet/rig/VersionRun.java
@@ -21,7 +21,7 @@
     /** While one member leads all switch this close to each other: an answer's way, the drift since, and a timer on a loaded machine. */
     static final long STEP_MS = 150;
     private static final int QUIET_EVERY = 4;
-    private static final long QUIET_MS = 3_000;
+    private static final long QUIET_MS = 3_000, LONG_MS = 8_000;   // the longer one outlasts an election before the commit
     static final List<String> PLANTS = List.of("no-confirm", "at-commit");
 
     private VersionRun() {}
@@ -42,13 +42,15 @@
                 tell.accept("round " + n + ": " + faults);
                 String led = c.leader();
                 c.history().add("round");
-                refused += round(c, faults.isEmpty() ? plan.lasting(QUIET_MS) : plan, n, faults, effect) ? 0 : 1;
+                Plan lasts = faults.isEmpty() ? plan.lasting(QUIET_MS) : "no-confirm".equals(t.plant()) ? plan.lasting(LONG_MS) : plan;
+                refused += round(c, lasts, n, faults) ? 0 : 1;
                 if (c.leader().equals(led)) {
                     c.history().add("steady");
                 }
             }
             c.history().add("end");
             Checkers checkers = Checkers.read(c.histories());
+            checkers.effects().forEach(ms -> effect.recordValue(Math.min(120_000, ms)));
             List<String> found = new ArrayList<>(checkers.agreement(BOUND_MS + CLOCK_MS, STEP_MS));
             found.addAll(checkers.leaseSafety());
             found.forEach(tell);
@@ -82,18 +84,13 @@
     }
 
     /** Whether its proposal was committed; after the heal all act on the latest, whatever became of it. */
-    private static boolean round(Cluster c, Plan plan, int n, List<Fault> faults, Histogram effect) throws IOException {
+    private static boolean round(Cluster c, Plan plan, int n, List<Fault> faults) throws IOException {
         Path file = write(c, n);
         String at = c.group().get(1 + n % 2);
-        long proposed = System.nanoTime();
         String hash = c.propose(at, file, "round " + n);
         FleetRun.play(c, plan, faults);
         c.heal(true);
-        String latest = c.agreed(System.nanoTime() + LIVENESS_MS * 1_000_000);
-        if (hash.equals(latest)) {
-            effect.recordValue(Math.min(120_000, (System.nanoTime() - proposed) / 1_000_000));
-        }
-        return hash.equals(latest);
+        return hash.equals(c.agreed(System.nanoTime() + LIVENESS_MS * 1_000_000));
     }
 
     /** A version of rules that differ from round to round. */
--- a/src/main/java/elderseam/wiring/VersionsWiring.java
+++ b/src/main/java/elderseam/wiring/VersionsWiring.java
@@ -76,6 +76,7 @@
             read(last).run();
         }
         System.err.println("versions: " + words(last) + ", in doubt until it is confirmed");
+        tell();
         look();
     }
 
--- /dev/null
+++ b/src/test/java/elderseam/fleet/rig/VersionsTest.java
@@ -0,0 +1,151 @@
+package elderseam.fleet.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.fleet.config.Version;
+import elderseam.fleet.config.VersionFolder;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Versions that three real processes agree on, and what befalls them meanwhile. */
+class VersionsTest {
+    private static final int RATE = 1;   // of a rule that refuses nearly all
+
+    @TempDir
+    Path folder;
+
+    private static long by(long seconds) {
+        return System.nanoTime() + seconds * 1_000_000_000L;
+    }
+
+    private FleetRun.Result play(String plant, int rounds) throws Exception {
+        return FleetRun.run(new FleetRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)), System.out::println);
+    }
+
+    @Test
+    void noTwoActOnContradictingVersionsUnderANemesis() throws Exception {
+        FleetRun.Result r = play(null, 4);
+        assertEquals(List.of(), r.violations());
+        System.out.println("versions: " + r.figures());
+    }
+
+    @Test
+    void whatIsPlantedIsFound() throws Exception {
+        assertFalse(play("no-confirm", 1).violations().isEmpty(), "a member that is cut off acts on the old version without end");
+    }
+
+    private Cluster cluster(Map<String, Integer> clocks) throws Exception {
+        Cluster c = new Cluster(new Plan(3, 1_200, 5, 150, 1_000, clocks, List.of()), folder.resolve("c"), VersionRun.setup(null));
+        c.agreed(by(30));
+        return c;
+    }
+
+    private static String value(Cluster c, String member, String name) throws Exception {
+        return Cluster.value(c.member(member).told("CONFIG"), name);
+    }
+
+    private static int send(Cluster c, String member) throws Exception {
+        return c.outside().send(c.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
+    }
+
+    /** Proposes, and waits until all act on it. */
+    private static void adopted(Cluster c, String at, Path file) throws Exception {
+        String hash = c.propose(at, file, "a test's");
+        assertFalse(hash.isEmpty());
+        long until = by(30);
+        while (!c.agreed(until).equals(hash)) {
+            assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).told("CONFIG"));
+            Cluster.pause(20);
+        }
+    }
+
+    /** The side that is cut off refuses new work from T on, and the others act on the newer version; afterwards all do. */
+    @Test
+    void theSideThatIsCutOffGoesIntoDoubtAndARestartFromAnOldFolderDoesNotActOnIt() throws Exception {
+        try (Cluster c = cluster(Map.of("n1", 105))) {
+            adopted(c, "n2", VersionRun.write(c, 0));
+            assertEquals(202, send(c, "n1"));
+            c.befall(Fault.parse(0, "isolate n1"));
+            assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
+            assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
+            assertFalse(c.propose("n2", VersionRun.write(c, 1), "without n1").isEmpty());
+            while (!value(c, "n2", "acting").startsWith("2 ") || !value(c, "n3", "acting").startsWith("2 ")) {
+                Cluster.pause(20);   // the group's own word is asked for
+            }
+            assertEquals(202, send(c, "n2"), "the side with the majority serves");
+            assertTrue(value(c, "n1", "acting").startsWith("1 ") && value(c, "n1", "doubt").equals("yes"));
+            c.befall(Fault.parse(0, "crash n1"));
+            c.befall(Fault.parse(0, "restart"));   // on its folder, two versions behind by now, and still cut off
+            assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
+            c.heal(true);
+            c.agreed(by(30));
+            assertTrue(value(c, "n1", "acting").startsWith("2 "));
+            assertEquals(202, send(c, "n1"));
+            assertEquals(List.of(), Checkers.read(c.histories()).agreement(VersionRun.BOUND_MS + VersionRun.CLOCK_MS, VersionRun.STEP_MS));
+        }
+        List<Version> kept = new VersionFolder(folder.resolve("c/n1/state/versions")).all();
+        assertEquals(List.of(1L, 2L), kept.stream().map(Version::number).toList(), "what a folder tells offline");
+    }
+
+    /** Two proposals at once, one that a member can't use, and the way back. */
+    @Test
+    void oneProposalWinsOneThatFailsAnywhereIsRefusedForAllAndARollbackIsANewVersion() throws Exception {
+        try (Cluster c = cluster(Map.of())) {
+            Path strict = c.folder().resolve("strict");
+            Files.createDirectories(strict);
+            Files.writeString(strict.resolve("few.rules"), "[limit few]\nrate_per_s = " + RATE + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
+            Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
+            String one = c.propose("n1", few, "one"), two = c.propose("n2", VersionRun.write(c, 7), "two");
+            assertFalse(one.isEmpty() || two.isEmpty());
+            String won = c.agreed(by(30));
+            while (won.equals(Version.NONE.hash().substring(0, 12))) {
+                won = c.agreed(by(30));
+            }
+            assertTrue(won.equals(one) ^ won.equals(two), "one of them");
+            assertEquals("1", value(c, "n3", "latest").split(" ")[0], "and the other is not the next");
+
+            // a path that is there in the process n1 alone: what is missing on another machine
+            String there = "/proc/self/task/" + c.member("n1").pid() + "/root" + strict.resolve("few.rules");
+            Path mine = Files.writeString(Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"), "[rules]\nfiles = " + there + "\n");
+            assertFalse(c.propose("n1", mine, "a file of n1's own").isEmpty());
+            while (!value(c, "n1", "ended").contains("refused: ")) {
+                Cluster.pause(20);
+            }
+            assertTrue(value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"), value(c, "n1", "ended"));
+            assertEquals("1", value(c, "n2", "latest").split(" ")[0], "none has adopted it");
+
+            String back = c.member("n2").told("CONFIG ROLLBACK 0 as it was");
+            assertTrue(back.startsWith("200 asked"), back);
+            while (!value(c, "n3", "acting").startsWith("3 ") || !c.agreed(by(30)).equals(Version.NONE.hash().substring(0, 12))) {
+                Cluster.pause(20);
+            }
+            assertTrue(c.member("n3").told("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
+        }
+    }
+
+    /** The move of discovery, as a version: all ask the new place, and none the old one any more. */
+    @Test
+    void discoveryMovesByAVersion() throws Exception {
+        Outside other = new Outside(3, 1);
+        try (Cluster c = cluster(Map.of())) {
+            Path file = Files.writeString(Files.createDirectories(c.folder().resolve("move")).resolve("version.ini"), "[discovery]\naddress = " + other.address() + "\n");
+            adopted(c, "n3", file);
+            long until = by(20);
+            while (other.lists() < 3) {
+                assertTrue(System.nanoTime() < until, other.lists() + " calls at the new place");
+                Cluster.pause(20);
+            }
+            Cluster.pause(1_500);   // the last watch at the old place has been answered
+            long old = c.outside().lists();
+            Cluster.pause(1_500);
+            assertEquals(old, c.outside().lists(), "nobody asks the old place");
+        }
+    }
+}
