--- a/src/main/java/elderseam/cli/VersionsCommand.java
+++ b/src/main/java/elderseam/cli/VersionsCommand.java
@@ -91,8 +91,8 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            VersionContent.read(file);   // what is wrong with its form is told here already
-            return proposed(spec, at, "CONFIG PROPOSE PARENT " + file.toAbsolutePath().normalize() + " " + note(spec, note));
+            String hash = Version.hash(VersionContent.read(file)).substring(0, 12);   // what is wrong with its form is told here already
+            return proposed(spec, at, "CONFIG PROPOSE PARENT " + hash + " " + file.toAbsolutePath().normalize() + " " + note(spec, note));
         }
     }
 
--- a/src/main/java/elderseam/control/Command.java
+++ b/src/main/java/elderseam/control/Command.java
@@ -22,8 +22,11 @@
     /** The fleet's leases; {@code members}: which members the group is to have, by name, or none told where it is only asked about. */
     record Fleet(Map<String, InetSocketAddress> members) implements Command {}
 
-    /** Versions of what the fleet agrees on; {@code a} and {@code b} are numbers, {@code path} a file on this machine. */
-    record Config(Verb verb, long a, long b, String path, String note) implements Command {
+    /**
+     * Versions of what the fleet agrees on; {@code a} and {@code b} are numbers, {@code path} a file on this machine and {@code hash} the
+     * first twelve digits of what whoever proposes it read there.
+     */
+    record Config(Verb verb, long a, long b, String hash, String path, String note) implements Command {
         public enum Verb { STATUS, DIFF, PROPOSE, ROLLBACK }
     }
 
@@ -74,18 +77,18 @@
     }
 
     private static Command config(String rest) {
-        String[] w = rest.split("[ \t]+", 4);
+        String[] w = rest.split("[ \t]+", 5);
         String number = "\\d{1,18}";
         if (rest.isEmpty()) {
-            return new Config(Config.Verb.STATUS, 0, 0, "", "");
+            return new Config(Config.Verb.STATUS, 0, 0, "", "", "");
         } else if (w[0].equals("DIFF") && w.length == 3 && w[1].matches(number) && w[2].matches(number)) {
-            return new Config(Config.Verb.DIFF, Long.parseLong(w[1]), Long.parseLong(w[2]), "", "");
-        } else if (w[0].equals("PROPOSE") && w.length == 4 && w[1].matches(number) && w[2].startsWith("/")) {
-            return new Config(Config.Verb.PROPOSE, Long.parseLong(w[1]), 0, w[2], w[3]);
+            return new Config(Config.Verb.DIFF, Long.parseLong(w[1]), Long.parseLong(w[2]), "", "", "");
+        } else if (w[0].equals("PROPOSE") && w.length == 5 && w[1].matches(number) && w[2].matches("[0-9a-f]{12}") && w[3].startsWith("/")) {
+            return new Config(Config.Verb.PROPOSE, Long.parseLong(w[1]), 0, w[2], w[3], w[4]);
         } else if (w[0].equals("ROLLBACK") && w.length >= 3 && w[1].matches(number)) {
-            return new Config(Config.Verb.ROLLBACK, Long.parseLong(w[1]), 0, "", rest.substring(rest.indexOf(w[1]) + w[1].length()).strip());
+            return new Config(Config.Verb.ROLLBACK, Long.parseLong(w[1]), 0, "", "", rest.substring(rest.indexOf(w[1]) + w[1].length()).strip());
         }
-        return new Fault("allowed: CONFIG, CONFIG DIFF A B, CONFIG PROPOSE PARENT /FILE NOTE, CONFIG ROLLBACK VERSION NOTE");
+        return new Fault("allowed: CONFIG, CONFIG DIFF A B, CONFIG PROPOSE PARENT HASH /FILE NOTE, CONFIG ROLLBACK VERSION NOTE");
     }
 
     private static Fault noWords(String name) {
--- a/src/main/java/elderseam/emulator/Shares.java
+++ b/src/main/java/elderseam/emulator/Shares.java
@@ -79,14 +79,9 @@
             sharers = by;
             members = now;
             List<String> names = now.stream().map(n -> "m" + n).toList();
-            Set<String> all = new HashSet<>(), own = new HashSet<>();
-            Plan.Fleet fleet = place.plan().fleet();
-            listed.values().forEach(endpoints -> {
-                int k = Subsets.size(names.size(), endpoints.size(), fleet.connections(), 1);
-                all.addAll(endpoints);
-                own.addAll(k >= endpoints.size() ? endpoints : Subsets.all(Subsets.Way.BOUNDED, names, endpoints, k).get("m" + place.number()));
-            });
-            preferred = own;
+            Set<String> all = new HashSet<>();
+            listed.values().forEach(all::addAll);
+            preferred = Subsets.preferred("m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
             relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
         }
         place.at(place.time().now() + LOOK_NS, this::look);
--- a/src/main/java/elderseam/fleet/config/VersionFolder.java
+++ b/src/main/java/elderseam/fleet/config/VersionFolder.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a member keeps of versions in its own folder, so that it starts again on the one it acted on last, and an operator can look
@@ -28,12 +30,39 @@
         Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
     }
 
-    /** Keeps one that is committed. */
-    public void keep(Version v) throws IOException {
-        Path file = folder.resolve(v.number() + ".json");
-        if (!Files.exists(file)) {
-            put(file, JSON.writeValueAsBytes(v));
+    /** Keeps these, which are committed, and drops all others with their texts, but for the one acted on. */
+    public void keep(List<Version> committed) throws IOException {
+        Set<Long> numbers = new HashSet<>(Set.of(acting().number()));
+        for (Version v : committed) {
+            numbers.add(v.number());
+            Path file = folder.resolve(v.number() + ".json");
+            if (!Files.exists(file)) {
+                put(file, JSON.writeValueAsBytes(v));
+            }
+        }
+        try (var all = Files.list(folder)) {
+            for (Path old : all.filter(p -> p.getFileName().toString().matches("\\d{1,18}[.-].*")).toList()) {
+                long number = Long.parseLong(old.getFileName().toString().split("[.-]")[0]);
+                if (!numbers.contains(number) && number <= newest(numbers)) {   // a higher one may be looked at just now
+                    drop(old);
+                }
+            }
+        }
+    }
+
+    private static long newest(Set<Long> numbers) {
+        return numbers.stream().mapToLong(n -> n).max().orElse(0);
+    }
+
+    private static void drop(Path old) throws IOException {
+        if (Files.isDirectory(old)) {
+            try (var inside = Files.list(old)) {
+                for (Path f : inside.toList()) {
+                    Files.delete(f);
+                }
+            }
         }
+        Files.delete(old);
     }
 
     /** Remembers that this one is acted on from now on. */
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -1,6 +1,8 @@
 package elderseam.fleet.rig;
 
 import elderseam.fleet.History;
+import elderseam.fleet.config.Version;
+import elderseam.fleet.config.VersionContent;
 import elderseam.gossip.trust.KeyFile;
 import java.io.Closeable;
 import java.io.IOException;
@@ -381,7 +383,8 @@
             return "";
         }
         String latest = value(members.get(name).told("CONFIG"), "latest").split(" ")[0];
-        String answer = latest.isEmpty() ? "" : members.get(name).told("CONFIG PROPOSE " + latest + " " + file + " " + note);
+        String answer = latest.isEmpty() ? "" : members.get(name).told("CONFIG PROPOSE " + latest + " "
+                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
         history.add("propose", "at", name, "answer", answer.strip());
         return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
     }
--- a/src/main/java/elderseam/fleet/share/Subsets.java
+++ b/src/main/java/elderseam/fleet/share/Subsets.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Which endpoints of a destination each member prefers. Every member computes the whole of it from the same names, so no word
@@ -44,6 +46,19 @@
         return (int) Math.max(1, Math.min(endpoints, (long) connections * endpoints / Math.max(1, (long) members * each)));
     }
 
+    /**
+     * The endpoints that one member prefers of all that are listed, by destination; {@code connections} and {@code each} as {@link
+     * #size} has them.
+     */
+    public static Set<String> preferred(String self, List<String> members, Map<Long, List<String>> listed, int connections, int each) {
+        Set<String> own = new HashSet<>();
+        listed.values().forEach(endpoints -> {
+            int k = size(members.size(), endpoints.size(), connections, each);
+            own.addAll(k >= endpoints.size() ? endpoints : all(Way.BOUNDED, members, endpoints, k).getOrDefault(self, endpoints));
+        });
+        return own;
+    }
+
     /** Each member's endpoints; {@code size} at most, and never fewer than one where there is one. */
     public static Map<String, List<String>> all(Way way, List<String> members, List<String> endpoints, int size) {
         List<String> names = members.stream().sorted().distinct().toList(), hosts = endpoints.stream().sorted().distinct().toList();
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -354,7 +354,7 @@
     private void guard() {
         VersionsWiring versions = neighbours == null ? null : neighbours.versions();
         if (versions != null) {
-            rulings(versions.guard(rules));
+            rulings(versions.guard(rules, relay::knows));
         }
     }
 
--- a/src/main/java/elderseam/wiring/ShareWiring.java
+++ b/src/main/java/elderseam/wiring/ShareWiring.java
@@ -106,7 +106,7 @@
             sharers = now;
             names = present;
             known = ids;
-            preferred = preferred(listed);
+            preferred = Subsets.preferred(members.self(), names, listed, connections, each);
             relay.part(sharers, e -> preferred.contains(e) || !known.contains(e), retries);   // one that is new is not passed over
         }
         if (turns) {
@@ -115,15 +115,6 @@
         io.at(io.clock.now() + LOOK_NS, this::look);
     }
 
-    private Set<String> preferred(Map<Long, List<String>> listed) {
-        Set<String> all = new HashSet<>();
-        listed.values().forEach(endpoints -> {
-            int k = Subsets.size(names.size(), endpoints.size(), connections, each);
-            all.addAll(k >= endpoints.size() ? endpoints : Subsets.all(Subsets.Way.BOUNDED, names, endpoints, k).getOrDefault(members.self(), endpoints));
-        });
-        return all;
-    }
-
     private void turn(long destination, Sender.Breaker breaker) {
         TurnDuty.Standing own = TurnDuty.Standing.valueOf(breaker.standing().name());
         TurnDuty duty = own == TurnDuty.Standing.CLOSED ? duties.remove(destination)
--- a/src/main/java/elderseam/wiring/VersionsWiring.java
+++ b/src/main/java/elderseam/wiring/VersionsWiring.java
@@ -23,8 +23,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
 
 /**
  * Versions that the fleet agrees on, carried out: a thread of its own confirms, checks what is proposed and keeps what is committed;
@@ -53,10 +55,11 @@
     private final long boundMs, leadMs;
     private volatile LeaseGroup group;
     private volatile String fault = "";   // why this member can't act on what is committed
+    private volatile String refused = ""; // the last proposal made here that was refused, and why
     private volatile boolean left;
     private boolean doubts = true;        // of the I/O thread
     private Thread thread;
-    private long looked;                  // the highest number whose proposal was checked here
+    private long looked, kept;            // the highest number whose proposal was checked here, and that is in the folder
 
     VersionsWiring(Io io, Settings s, Path state, Reader reader, History history) throws IOException {
         this.io = io;
@@ -105,21 +108,26 @@
         return folder.texts(acting());
     }
 
-    /** The rules with the doubt before them: new work is refused, with a time to come back, where they may say otherwise by now. */
-    Rulings guard(Rulings rules) {
-        return new Guard(rules);
+    /**
+     * The rules with the doubt before them: new work is refused, with a time to come back, where they may say otherwise by now; what is
+     * {@code known} already, by its id, goes to the answer that it has or waits for.
+     */
+    Rulings guard(Rulings rules, Predicate<String> known) {
+        return new Guard(rules, known);
     }
 
     private final class Guard implements Rulings {
         private final Rulings rules;   // null while there are none
+        private final Predicate<String> known;
 
-        Guard(Rulings rules) {
+        Guard(Rulings rules, Predicate<String> known) {
             this.rules = rules;
+            this.known = known;
         }
 
         @Override
         public Ruled rule(Stream.Message message, Facts facts) {
-            if (refuses && acting().number() > 0 && inDoubt()) {
+            if (refuses && acting().number() > 0 && inDoubt() && !known.test(message.id())) {
                 return new Ruled(message, List.of(), Answer.refused(boundMs * Clock.MS), "");
             }
             boolean told = message.cls() >= 0 && message.destination() >= 0;
@@ -221,8 +229,9 @@
             return;   // no majority, or no link: what it was sure of runs out
         }
         LeaseMachine.Versions here = group.versions();
-        for (Version v : here.all()) {
-            folder.keep(v);
+        if (here.latest().number() != kept) {
+            folder.keep(here.all());
+            kept = here.latest().number();
         }
         synchronized (rule) {
             Version known = here.latest();
@@ -263,20 +272,22 @@
         if (g == null) {
             return Verdict.no("the fleet's engine starts yet");
         }
-        try {
-            LeaseMachine.Versions here = g.versions();
-            return switch (c.verb()) {
-                case STATUS -> new Verdict(true, "config", status(here));
-                case DIFF -> diff(here, c.a(), c.b());
-                case PROPOSE -> propose(g, c.a(), c.note(), VersionContent.read(Path.of(c.path())));
-                case ROLLBACK -> {
-                    Version back = find(here, c.a());
-                    yield back == null ? Verdict.no("version " + c.a() + " is not kept") : propose(g, here.latest().number(), "back to " + c.a() + ": " + c.note(), back.texts());
-                }
-            };
-        } catch (IOException e) {
-            return Verdict.no(String.valueOf(e.getMessage()).lines().findFirst().orElse("it can't be read"));
+        LeaseMachine.Versions here = g.versions();
+        return switch (c.verb()) {
+            case STATUS -> new Verdict(true, "config", status(here));
+            case DIFF -> diff(here, c.a(), c.b());
+            case PROPOSE -> propose(g, c);
+            case ROLLBACK -> rollback(g, here, c);
+        };
+    }
+
+    private Verdict rollback(LeaseGroup g, LeaseMachine.Versions here, Command.Config c) {
+        Version back = find(here, c.a());
+        if (back == null) {
+            return Verdict.no("version " + c.a() + " is not kept");
         }
+        propose(g, here.latest().number(), "back to " + c.a() + ": " + c.note(), back.texts());
+        return asked(back.hash().substring(0, 12));
     }
 
     private static Version find(LeaseMachine.Versions here, long number) {
@@ -289,23 +300,48 @@
                 : new Verdict(true, "diff", VersionContent.diff(from, to));
     }
 
-    private Verdict propose(LeaseGroup g, long parent, String note, Map<String, String> texts) throws IOException {
-        VersionTable.Command c;
-        try {
-            c = VersionTable.Command.propose(settings.get(Keys.FLEET_NAME), parent, note, texts, g.members().size(), boundMs, leadMs);
-        } catch (IllegalArgumentException e) {
-            return Verdict.no(e.getMessage());
-        }
-        String hash = Version.hash(texts).substring(0, 12);
-        g.versions(c).whenComplete((o, e) -> {
-            refusal = e != null ? "not decided: " + e.getMessage() : o.word();
-            refused = e != null || !o.word().isEmpty() ? hash : "";
-            System.err.println("versions: proposal " + hash + (refused.isEmpty() ? " is looked at" : " refused: " + refusal));
+    /** Reads the file on a thread of the engine's client, never on the I/O thread; {@code hash}: what the operator's tool read there. */
+    private Verdict propose(LeaseGroup g, Command.Config c) {
+        CompletableFuture.runAsync(() -> {
+            try {
+                Map<String, String> texts = VersionContent.read(Path.of(c.path()));
+                String read = Version.hash(texts).substring(0, 12);
+                if (read.equals(c.hash())) {
+                    propose(g, c.a(), c.note(), texts);
+                } else {
+                    refuse(c.hash(), c.path() + " holds " + read + " by now");
+                }
+            } catch (IOException e) {
+                refuse(c.hash(), String.valueOf(e.getMessage()).lines().findFirst().orElse("it can't be read"));
+            }
         });
+        return asked(c.hash());
+    }
+
+    private static Verdict asked(String hash) {
         return Verdict.yes("asked " + hash + "; CONFIG tells what becomes of it");
     }
 
-    private volatile String refusal = "", refused = "";
+    private void propose(LeaseGroup g, long parent, String note, Map<String, String> texts) {
+        String hash = Version.hash(texts).substring(0, 12);
+        try {
+            g.versions(VersionTable.Command.propose(settings.get(Keys.FLEET_NAME), parent, note, texts, g.members().size(), boundMs, leadMs)).whenComplete((o, e) -> {
+                if (e != null || !o.word().isEmpty()) {
+                    refuse(hash, e != null ? "not decided: " + e.getMessage() : o.word());
+                } else {
+                    refused = "";
+                    System.err.println("versions: proposal " + hash + " is looked at");
+                }
+            });
+        } catch (IllegalArgumentException | IOException e) {
+            refuse(hash, e.getMessage());
+        }
+    }
+
+    private void refuse(String hash, String why) {
+        refused = hash + " " + why;
+        System.err.println("versions: proposal " + hash + " refused: " + why);
+    }
 
     private List<String> status(LeaseMachine.Versions here) {
         long now = clock.now();
@@ -319,7 +355,7 @@
         lines.add("latest=" + here.latest().number() + " " + here.latest().hash().substring(0, 12));
         lines.add("pending=" + (here.pending() == null ? "none" : here.pending().number() + " " + here.pending().hash().substring(0, 12)));
         lines.add("ended=" + here.ended().number() + " " + (here.ended().hash().isEmpty() ? "none" : here.ended().hash().substring(0, 12)) + " " + here.ended().word());
-        lines.add("refused=" + (refused.isEmpty() ? "none" : refused + " " + refusal));
+        lines.add("refused=" + (refused.isEmpty() ? "none" : refused));
         lines.add("fault=" + (fault.isEmpty() ? "none" : fault));
         for (Version v : here.all()) {
             lines.add("version=" + v.number() + " " + v.hash().substring(0, 12) + " from " + v.parent() + " by " + v.author() + ": " + v.note());
