--- a/src/main/java/elderseam/fleet/share/Subsets.java
+++ b/src/main/java/elderseam/fleet/share/Subsets.java
@@ -28,11 +28,29 @@
     static final double SLACK = 1.05;
 
     private static final Hasher64 HASH = Hashing.wyhashFinal4();
+    private static final long ORDER = 1;   // the members' own order, beside the scores of pairs
 
     private Subsets() {}
 
-    private static long score(String a, String b) {
-        return HASH.hashCharsToLong(a + '\n' + b);
+    private static long[] hashes(List<String> names) {
+        return names.stream().mapToLong(HASH::hashCharsToLong).toArray();
+    }
+
+    /** The places of the hosts in the order of their scores with one name; each pair is hashed once. */
+    private static int[] ranked(long name, long[] hosts) {
+        long[] scores = new long[hosts.length];
+        int[] order = new int[hosts.length];
+        for (int i = 0; i < hosts.length; i++) {   // by insertion: a destination has few
+            long score = HASH.hashLongLongToLong(name, hosts[i]);
+            int at = i;
+            for (; at > 0 && scores[at - 1] > score; at--) {
+                scores[at] = scores[at - 1];
+                order[at] = order[at - 1];
+            }
+            scores[at] = score;
+            order[at] = i;
+        }
+        return order;
     }
 
     /**
@@ -70,49 +88,73 @@
         };
     }
 
-    private static List<String> ranked(String member, List<String> hosts) {
-        return hosts.stream().sorted(Comparator.comparingLong((String h) -> score(member, h)).thenComparing(h -> h)).toList();
+    private static List<String> names(int[] of, int from, int to, List<String> hosts) {
+        List<String> all = new ArrayList<>(to - from);
+        for (int i = from; i < to; i++) {
+            all.add(hosts.get(of[i]));
+        }
+        return all;
     }
 
     private static Map<String, List<String>> rendezvous(List<String> names, List<String> hosts, int k) {
         Map<String, List<String>> all = new LinkedHashMap<>();
-        names.forEach(n -> all.put(n, ranked(n, hosts).subList(0, k)));
+        long[] scores = hashes(hosts);
+        names.forEach(n -> all.put(n, names(ranked(HASH.hashCharsToLong(n), scores), 0, k, hosts)));
         return all;
     }
 
     private static Map<String, List<String>> sre(List<String> names, List<String> hosts, int k) {
         Map<String, List<String>> all = new LinkedHashMap<>();
+        long[] scores = hashes(hosts);
         int subsets = k == 0 ? 1 : Math.max(1, hosts.size() / k);
+        int[] shuffled = {};
         for (int i = 0; i < names.size(); i++) {
-            int round = i / subsets, part = i % subsets;
-            List<String> shuffled = ranked("round " + round, hosts);
-            all.put(names.get(i), shuffled.subList(part * k, part * k + k));
+            int part = i % subsets;
+            shuffled = part == 0 ? ranked(HASH.hashCharsToLong("round " + i / subsets), scores) : shuffled;
+            all.put(names.get(i), names(shuffled, part * k, part * k + k, hosts));
         }
         return all;
     }
 
     private static Map<String, List<String>> bounded(List<String> names, List<String> hosts, int k) {
         Map<String, List<String>> all = new LinkedHashMap<>();
-        Map<String, Integer> load = new HashMap<>();
+        long[] scores = hashes(hosts), members = hashes(names);
+        int[] load = new int[hosts.size()];
         double even = hosts.isEmpty() ? 0 : (double) names.size() * k / hosts.size();
         int most = (int) Math.max(Math.ceil(even), Math.floor(even * SLACK));   // a few members must not round up to one more each
-        List<String> order = names.stream().sorted(Comparator.comparingLong((String n) -> score(n, "order")).thenComparing(n -> n)).toList();
-        for (String name : order) {
-            List<String> ranked = ranked(name, hosts), own = new ArrayList<>(k);
-            for (String h : ranked) {
-                if (own.size() < k && load.getOrDefault(h, 0) < most) {
-                    own.add(h);
+        for (int m : ranked(ORDER, members, names.size())) {
+            int[] ranked = ranked(members[m], scores);
+            boolean[] taken = new boolean[hosts.size()];
+            List<String> own = new ArrayList<>(k);
+            for (int i = 0; i < ranked.length && own.size() < k; i++) {
+                if (load[ranked[i]] < most) {
+                    take(ranked[i], load, taken, own, hosts);
                 }
             }
-            // the last members may find too few below their part: then the least taken of the others
-            ranked.stream().filter(h -> !own.contains(h)).sorted(Comparator.comparingInt((String h) -> load.getOrDefault(h, 0)))
-                    .limit(k - own.size()).toList().forEach(own::add);
-            own.forEach(h -> load.merge(h, 1, Integer::sum));
-            all.put(name, List.copyOf(own));
+            while (own.size() < k) {   // the last members may find too few below their part: then the least taken of the others
+                int least = -1;
+                for (int h : ranked) {
+                    least = !taken[h] && (least < 0 || load[h] < load[least]) ? h : least;
+                }
+                take(least, load, taken, own, hosts);
+            }
+            all.put(names.get(m), own);
         }
         return all;
     }
 
+    private static void take(int host, int[] load, boolean[] taken, List<String> own, List<String> hosts) {
+        load[host]++;
+        taken[host] = true;
+        own.add(hosts.get(host));
+    }
+
+    /** The places of all members in the order of their own scores: by sorting, they may be many. */
+    private static int[] ranked(long by, long[] members, int n) {
+        return java.util.stream.IntStream.range(0, n).boxed().sorted(Comparator.comparingLong((Integer i) -> HASH.hashLongLongToLong(by, members[i]))
+                .thenComparing(i -> i)).mapToInt(i -> i).toArray();
+    }
+
     /** The most members at an endpoint over the mean, 1 where it is even. */
     public static double unevenness(Map<String, List<String>> all, List<String> endpoints) {
         Map<String, Integer> load = load(all);
