--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -29,6 +29,8 @@
         private int rounds;
         @Option(names = "--seed", defaultValue = "1", description = "of the random faults; one seed gives one schedule (${DEFAULT-VALUE})")
         private long seed;
+        @Option(names = "--members", defaultValue = "0", description = "2 to 16, or 0 for as many as the scenario says (${DEFAULT-VALUE})")
+        private int members;
         @Option(names = "--plant", paramLabel = "NAME", description = "a fault that a checker must find: no-margin, no-fence, no-heal, gossip, gossip-majority, no-confirm or at-commit")
         private String plant;
         @Option(names = "--folder", paramLabel = "DIR", description = "where histories, logs and the members' folders are left; a temporary one unless told")
@@ -43,6 +45,9 @@
             if (rounds < 1 || rounds > 100_000) {
                 throw new ParameterException(spec.commandLine(), "--rounds: " + rounds + ", allowed: 1 to 100000");
             }
+            if (members != 0 && (members < 2 || members > 16)) {
+                throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16, or 0");
+            }
             if (plant != null && !FleetRun.PLANTS.contains(plant)) {
                 throw new ParameterException(spec.commandLine(), "--plant: '" + plant + "', allowed: " + String.join(", ", FleetRun.PLANTS));
             }
@@ -51,7 +56,7 @@
             }
             PrintWriter out = spec.commandLine().getOut();
             Path at = folder != null || schedule ? folder : Files.createTempDirectory("elderseam-fleet");
-            FleetRun.Terms terms = new FleetRun.Terms(scenario, rounds, seed, plant, at);
+            FleetRun.Terms terms = new FleetRun.Terms(scenario, rounds, seed, plant, at, members);
             if (schedule) {
                 FleetRun.schedule(terms).forEach(out::println);
                 return 0;
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -1,13 +1,9 @@
 package elderseam.fleet.rig;
 
 import elderseam.fleet.History;
-import elderseam.fleet.config.Version;
-import elderseam.fleet.config.VersionContent;
-import elderseam.gossip.trust.KeyFile;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,7 +20,7 @@
 final class Cluster implements Closeable {
     static final String LEASE = "rehearsal", STORE = "store";
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
-    private static final int PORT = 9_000, GOSSIP_PORT = 9_500;
+    private static final int PORT = 9_000;
 
     /**
      * What of the program is on: the leases at all, further lines of a member's [fleet] by its name, acts on the store, whether that has its fence,
@@ -59,8 +54,7 @@
     private final String place;   // a loopback address of this cluster's own: no port of it is another's
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
-    private final Map<String, Gossiping> gossips = new LinkedHashMap<>();
-    private final Map<SocketAddress, String> speakers = new ConcurrentHashMap<>();   // of datagrams: where each speaks from
+    private final GossipPlaces gossips;
     private final Map<String, Long> pids = new ConcurrentHashMap<>();
     private final Map<String, Long> stalled = new LinkedHashMap<>();   // until when, of the machine's clock
     private final List<String> group = new ArrayList<>();              // who is in the lease group
@@ -72,9 +66,6 @@
     private final Queue<Process> started = new ConcurrentLinkedQueue<>();
     private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
 
-    /** A member's place in the gossip: its line of the roster, and what stands before it. */
-    private record Gossiping(String line, FaultProxy connections, DatagramProxy datagrams) {}
-
     /** Starts the members and waits until each is ready. */
     Cluster(Plan plan, Path folder, Setup setup) throws IOException {
         this(plan, folder, setup, 1);
@@ -89,6 +80,7 @@
         int n = CLUSTERS.getAndIncrement();
         long pid = ProcessHandle.current().pid();
         place = "127." + (100 + n % 100) + "." + pid / 250 % 250 + "." + (1 + pid % 250);
+        gossips = new GossipPlaces(network, folder, place, () -> pids);
         history = new History(folder.resolve("rig.jsonl"), "rig");
         store = new Store(history, setup.fenced(), this::effect);
         toStore = new FaultProxy(network, STORE, store.address(), () -> pids);
@@ -107,7 +99,7 @@
         }
         group.addAll(members.keySet());
         if (!setup.gossip().isEmpty()) {
-            Files.write(folder.resolve("roster"), gossips.values().stream().map(Gossiping::line).toList());
+            gossips.roster();
         }
         for (Member m : members.values()) {
             configure(m.name);
@@ -136,11 +128,7 @@
         Files.writeString(own.resolve("config.json"), outside.config(named));
         proxies.put(name, new FaultProxy(network, name, new InetSocketAddress(place, PORT + named), () -> pids));
         if (!setup.gossip().isEmpty()) {
-            InetSocketAddress at = new InetSocketAddress(place, GOSSIP_PORT + named);
-            FaultProxy connections = new FaultProxy(network, name, at, () -> pids);
-            speakers.put(at, name);
-            gossips.put(name, new Gossiping(name + " 127.0.0.0/8 " + KeyFile.make(own.resolve("key")).text(), connections,
-                    new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
+            gossips.add(name, named);
         }
         Member m = new Member(name, own, Map.of("RELAY_NAME", name, "RELAY_LISTEN", "127.0.0.1:0", "RELAY_CONTROL", "127.0.0.1:0", "RELAY_DISCOVERY",
                 outside.address(), "RELAY_STATE", own.resolve("state").toString(), "RELAY_CONFIG", own.resolve("config.json").toString()), line -> said(name, line));
@@ -179,11 +167,7 @@
     }
 
     private String gossip(String name) {
-        String at = "127.0.0.1:" + gossips.get(name).connections().address().getPort();
-        String seeds = String.join(" ", gossips.values().stream().map(g -> "127.0.0.1:" + g.connections().address().getPort()).filter(a -> !a.equals(at)).toList());
-        return "[gossip]\nlisten = " + place + ":" + (GOSSIP_PORT + Integer.parseInt(name.substring(1))) + "\nadvertise = " + at + "\nname = " + name + "\nkey_file = "
-                + folder.resolve(name).resolve("key") + "\nroster = " + folder.resolve("roster") + "\nseeds = " + seeds
-                + "\n[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n"
+        return gossips.settings(name) + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n"
                 + setup.lines().apply(name);
     }
 
@@ -226,7 +210,7 @@
             case "lose" -> network.lose(ms);   // percent
             case "reset" -> {
                 proxies.values().forEach(FaultProxy::reset);
-                gossips.values().forEach(g -> g.connections().reset());
+                gossips.reset();
                 toStore.reset();
             }
             case "stall" -> {
@@ -377,44 +361,6 @@
         return leader;
     }
 
-    /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
-    String propose(String name, Path file, String note) throws IOException {
-        if (!members.get(name).alive()) {
-            return "";
-        }
-        String latest = value(members.get(name).told("CONFIG"), "latest").split(" ")[0];
-        String answer = latest.isEmpty() ? "" : members.get(name).told("CONFIG PROPOSE " + latest + " "
-                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
-        history.add("propose", "at", name, "answer", answer.strip());
-        return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
-    }
-
-    static String value(String answer, String name) {
-        return answer.lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
-    }
-
-    /** Waits until all living members act on one version that is the latest, none in doubt and nothing pending; its hash, or an error after {@code byNs}. */
-    String agreed(long byNs) throws IOException {
-        while (true) {
-            Set<String> acting = new java.util.TreeSet<>();
-            boolean sure = true;
-            for (String g : group) {
-                if (members.get(g).alive()) {
-                    String s = members.get(g).told("CONFIG");
-                    acting.add(value(s, "acting"));
-                    sure &= value(s, "acting").equals(value(s, "latest")) && value(s, "doubt").equals("no") && value(s, "pending").equals("none");
-                }
-            }
-            if (sure && acting.size() == 1) {
-                return acting.iterator().next().split(" ")[1];
-            }
-            if (System.nanoTime() > byNs) {
-                throw new IOException("the members do not agree on a version: " + acting);
-            }
-            pause(20);   // members are asked; they tell nothing unasked
-        }
-    }
-
     /** Waits until so many living members' last word of those that begin with {@code about} is {@code word}; false where it is not by {@code byNs}. */
     boolean say(String about, String word, long count, long byNs) throws IOException {
         synchronized (saying) {
@@ -494,10 +440,7 @@
         for (FaultProxy p : proxies.values()) {
             p.close();
         }
-        for (Gossiping g : gossips.values()) {
-            g.connections().close();
-            g.datagrams().close();
-        }
+        gossips.close();
         toStore.close();
         store.close();
         history.close();
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/fleet/rig/FleetRun.java
@@ -15,8 +15,15 @@
 public final class FleetRun {
     /** The faults that can be planted, each to be caught by one checker. */
     public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority", "no-confirm", "at-commit");
-    /** A test's terms: {@code scenario} a file, or {@code leases}; {@code plant} one of {@link #PLANTS}, or null. */
-    public record Terms(String scenario, int rounds, long seed, String plant, Path folder) {}
+    /**
+     * A test's terms: {@code scenario} a file, {@code leases} or {@code versions}; {@code plant} one of {@link #PLANTS}, or null; {@code
+     * members}: how many there are, 0 for as many as the scenario says.
+     */
+    public record Terms(String scenario, int rounds, long seed, String plant, Path folder, int members) {
+        public Terms(String scenario, int rounds, long seed, String plant, Path folder) {
+            this(scenario, rounds, seed, plant, folder, 0);
+        }
+    }
 
     /** What came of it; {@code figures} by name, in milliseconds where the name says so. */
     public record Result(List<String> violations, Map<String, Object> figures) {
@@ -48,6 +55,7 @@
             return Plan.gossip();
         }
         Plan plan = onVersions(t) ? Plan.versions("at-commit".equals(t.plant()) ? 5 : 3) : t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
+        plan = t.members() == 0 ? plan : plan.of(t.members());
         return "no-margin".equals(t.plant()) ? plan.withoutMargin() : plan;
     }
 
--- a/src/main/java/elderseam/fleet/rig/Plan.java
+++ b/src/main/java/elderseam/fleet/rig/Plan.java
@@ -31,6 +31,11 @@
         return new Plan(members, 1_200, 5, 150, 4_000, Map.of("n1", 105), List.of());
     }
 
+    /** The same with so many members. */
+    Plan of(int members) {
+        return new Plan(members, ttlMs, driftPercent, electionMs, roundMs, clocks, faults);
+    }
+
     /** The same with rounds of another length. */
     Plan lasting(long ms) {
         return new Plan(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
--- /dev/null
+++ b/src/main/java/elderseam/fleet/rig/Proposals.java
@@ -0,0 +1,51 @@
+package elderseam.fleet.rig;
+
+import elderseam.fleet.config.Version;
+import elderseam.fleet.config.VersionContent;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Versions as an operator proposes them to the members of a cluster, by their second addresses. */
+final class Proposals {
+    private Proposals() {}
+
+    /** A value of what a member answers to CONFIG; "" where it says nothing of that. */
+    static String value(Cluster c, String member, String name) throws IOException {
+        return c.member(member).told("CONFIG").lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
+    }
+
+    /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
+    static String propose(Cluster c, String name, Path file, String note) throws IOException {
+        if (!c.member(name).alive()) {
+            return "";
+        }
+        String latest = value(c, name, "latest").split(" ")[0];
+        String answer = latest.isEmpty() ? "" : c.member(name).told("CONFIG PROPOSE " + latest + " "
+                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
+        c.history().add("propose", "at", name, "answer", answer.strip());
+        return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
+    }
+
+    /** Waits until all living members act on one version that is the latest, none in doubt and nothing pending; its hash, or an error after {@code byNs}. */
+    static String agreed(Cluster c, long byNs) throws IOException {
+        while (true) {
+            Set<String> acting = new TreeSet<>();
+            boolean sure = true;
+            for (String g : c.group()) {
+                if (c.member(g).alive()) {
+                    acting.add(value(c, g, "acting"));
+                    sure &= value(c, g, "acting").equals(value(c, g, "latest")) && value(c, g, "doubt").equals("no") && value(c, g, "pending").equals("none");
+                }
+            }
+            if (sure && acting.size() == 1) {
+                return acting.iterator().next().split(" ")[1];
+            }
+            if (System.nanoTime() > byNs) {
+                throw new IOException("the members do not agree on a version: " + acting);
+            }
+            Cluster.pause(20);   // members are asked; they tell nothing unasked
+        }
+    }
+}
--- a/src/main/java/elderseam/fleet/rig/VersionRun.java
+++ b/src/main/java/elderseam/fleet/rig/VersionRun.java
@@ -36,7 +36,7 @@
         Histogram effect = new Histogram(120_000L, 3);
         int refused = 0;
         try (Cluster c = new Cluster(plan, t.folder(), setup(t.plant()))) {
-            c.agreed(System.nanoTime() + LIVENESS_MS * 1_000_000);   // the group has a leader, and all have confirmed
+            Proposals.agreed(c, System.nanoTime() + LIVENESS_MS * 1_000_000);   // the group has a leader, and all have confirmed
             for (int n = 0; n < t.rounds(); n++) {
                 List<Fault> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
@@ -87,10 +87,10 @@
     private static boolean round(Cluster c, Plan plan, int n, List<Fault> faults) throws IOException {
         Path file = write(c, n);
         String at = c.group().get(1 + n % 2);
-        String hash = c.propose(at, file, "round " + n);
+        String hash = Proposals.propose(c, at, file, "round " + n);
         FleetRun.play(c, plan, faults);
         c.heal(true);
-        return hash.equals(c.agreed(System.nanoTime() + LIVENESS_MS * 1_000_000));
+        return hash.equals(Proposals.agreed(c, System.nanoTime() + LIVENESS_MS * 1_000_000));
     }
 
     /** A version of rules that differ from round to round. */
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -7,14 +7,12 @@
 import elderseam.control.Operators;
 import elderseam.control.Verdict;
 import elderseam.core.Clock;
-import elderseam.fleet.config.VersionContent;
 import elderseam.core.Handover;
 import elderseam.core.Journal;
 import elderseam.core.Json;
 import elderseam.core.Lifecycle;
 import elderseam.core.RehearsedClock;
 import elderseam.core.Relay;
-import elderseam.core.Rulings;
 import elderseam.http.Connections;
 import elderseam.http.Io;
 import elderseam.http.Lean;
@@ -53,7 +51,6 @@
     private static final long UNASKED_NS = 10_000 * Clock.MS;       // for clients of a process that has passed its work on
 
     private final Config config;
-    private Config moved;              // as SIGHUP read it last
     private final Io io;
     private final Relay relay;
     private final PlatformFront front;
@@ -71,17 +68,11 @@
     private final Lifecycle life = new Lifecycle();
     private final ControlServer control;   // null where there is none
     private boolean looking;          // for connections of clients that stand idle in a drain
-    private volatile Rules rules;         // null while there are none
-    private EventsWiring second; // null while it is off
-    private Neighbours neighbours;   // null while it is made
+    private final Rereading rereading;
+    private final Neighbours neighbours;
     private final List<Server> servers = new ArrayList<>();
     private final long born;
 
-    /** The operator's rules, as far as the daemon's life goes: none of their classes is loaded while they are off. */
-    interface Rules extends Rulings {
-        Runnable reload(Settings fresh) throws IOException;
-    }
-
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long started = System.nanoTime();
@@ -132,7 +123,6 @@
         this.settings = told.settings();
         this.settingsFile = settingsFile;
         this.config = config;
-        this.moved = config;
         this.io = io;
         this.journal = journal;
         this.control = control;
@@ -148,24 +138,25 @@
         Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
         relay = new Relay(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
-        boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !journal.schemes().isEmpty();
-        rules = ruled ? new RulesWiring(io, config.settings(), RulesWiring.load(config.settings(), settings), relay, journal) : null;
-        front = new PlatformFront(io, platform, discovery(settings), relay, config.settings(), rules, life);
+        rereading = new Rereading(new Rereading.Ties(io, relay, journal), config, settings, settingsFile);
+        UpstreamHost asked = rereading.discovery(settings);
+        front = new PlatformFront(io, platform, asked, relay, config.settings(), rereading.rules(), life);
         relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
-        discovery = new Discovery(io, platform, discovery(settings), hosts, relay);
+        discovery = new Discovery(io, platform, asked, hosts, relay);
         relay.onWatch(discovery::watch);
         OneOrder order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
+        EventsWiring second = null;
         int eventClients = 0;
         if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
-            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rules, order);
+            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rereading.rules(), order);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
             second.listen();
         } else {
             servers.add(server(0));
         }
-        neighbours = new Neighbours(io, config, settings, relay, discovery, hosts, order, this::version);
-        guard();
+        neighbours = new Neighbours(io, config, settings, relay, discovery, hosts, order, rereading::version);
+        rereading.of(front, second, discovery, neighbours);
     }
 
     private Server server(int eventClients) throws IOException {
@@ -205,7 +196,7 @@
                     ? Verdict.no("this process passes its work on; ask the newer one, or again") : operators.carryOut(c));
             System.err.println("control on " + control.address());
         }
-        Reload.onHangUp(() -> reading(variables), io::run, List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
+        Reload.onHangUp(() -> rereading.hangUp(variables), io::run, List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
@@ -302,89 +293,6 @@
         io.at(io.clock.now() + LOOK_NS, this::left);
     }
 
-    private static UpstreamHost discovery(Config config) {
-        return new UpstreamHost("discovery", config.discovery());
-    }
-
-    /** All is read, on the signal's thread, before any of it counts; a version that the fleet agrees on outranks the own files. */
-    private Runnable reading(Map<String, String> variables) throws IOException {
-        Config fresh = Config.read(variables);
-        VersionsWiring versions = neighbours.versions();
-        boolean agreed = versions != null && versions.acting().number() > 0;
-        Settings told = OperatorFile.settings(settingsFile);
-        Settings counts = agreed ? merged(versions.texts()) : told;
-        Runnable rest = neighbours.reload(told), ruling = agreed ? () -> { } : ruling(told);
-        List<String> later = settings.changed(told, Keys.ALL, false);
-        return () -> {
-            moved = fresh;
-            move(counts);
-            rest.run();
-            ruling.run();
-            System.err.println("configuration read again, discovery at " + discovery(counts).address()
-                    + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
-        };
-    }
-
-    private Settings merged(Path texts) throws IOException {
-        return Settings.read(VersionContent.merged(settingsFile, texts), Keys.ALL, Keys.CONTRADICTIONS);
-    }
-
-    /** A version, read whole, or the own settings; what makes it act. */
-    private Runnable version(Path texts) throws IOException {
-        Settings told = texts == null ? OperatorFile.settings(settingsFile) : merged(texts);
-        Runnable ruling = ruling(told);
-        return () -> {
-            move(told);
-            ruling.run();
-            guard();
-        };
-    }
-
-    private UpstreamHost discovery(Settings told) {
-        String agreed = told.get(Keys.DISCOVERY_ADDRESS);
-        return agreed.isEmpty() ? discovery(moved) : new UpstreamHost("discovery", agreed);
-    }
-
-    private void move(Settings told) {
-        discovery.move(discovery(told));
-        front.move(discovery(told));
-    }
-
-    /** Before the rules, where there are versions: whether they may be acted on. */
-    private void guard() {
-        VersionsWiring versions = neighbours == null ? null : neighbours.versions();
-        if (versions != null) {
-            rulings(versions.guard(rules, relay::knows));
-        }
-    }
-
-    private void rulings(Rulings by) {
-        front.rulings(by);
-        if (second != null) {
-            second.rulings(by);
-        }
-    }
-
-    /** What applies the rules, which may be the first. */
-    private Runnable ruling(Settings told) throws IOException {
-        if (rules != null) {
-            return rules.reload(told);
-        }
-        if (told.get(Keys.RULES_FILES).isEmpty()) {
-            return () -> { };
-        }
-        var loaded = RulesWiring.load(config.settings(), told);
-        return () -> {
-            try {
-                rules = new RulesWiring(io, config.settings(), loaded, relay, journal);
-                rulings(rules);
-                guard();
-            } catch (IOException e) {
-                System.err.println("rules: not taken: " + e.getMessage());
-            }
-        };
-    }
-
     /** LAMEDUCK: no new clients; those that are there are answered, and their connections closed. Nothing that is held ends by it. */
     private void lameDuck() {
         System.err.println("lame duck");
--- a/src/main/java/elderseam/wiring/RulesWiring.java
+++ b/src/main/java/elderseam/wiring/RulesWiring.java
@@ -27,7 +27,7 @@
 import java.util.Map;
 
 /** Wires the operator's rules to relay and journal; where there are none, and no key of earlier ones is remembered, not loaded. */
-final class RulesWiring implements Daemon.Rules, Surroundings {
+final class RulesWiring implements Rereading.Rules, Surroundings {
     private static final long FRESH_NS = 50 * Clock.MS, PRUNE_NS = 60_000 * Clock.MS;
 
     private final Io io;
--- a/src/test/java/elderseam/fleet/rig/VersionsTest.java
+++ b/src/test/java/elderseam/fleet/rig/VersionsTest.java
@@ -43,12 +43,12 @@
 
     private Cluster cluster(Map<String, Integer> clocks) throws Exception {
         Cluster c = new Cluster(new Plan(3, 1_200, 5, 150, 1_000, clocks, List.of()), folder.resolve("c"), VersionRun.setup(null));
-        c.agreed(by(30));
+        Proposals.agreed(c, by(30));
         return c;
     }
 
     private static String value(Cluster c, String member, String name) throws Exception {
-        return Cluster.value(c.member(member).told("CONFIG"), name);
+        return Proposals.value(c, member, name);
     }
 
     private static int send(Cluster c, String member) throws Exception {
@@ -57,10 +57,10 @@
 
     /** Proposes, and waits until all act on it. */
     private static void adopted(Cluster c, String at, Path file) throws Exception {
-        String hash = c.propose(at, file, "a test's");
+        String hash = Proposals.propose(c, at, file, "a test's");
         assertFalse(hash.isEmpty());
         long until = by(30);
-        while (!c.agreed(until).equals(hash)) {
+        while (!Proposals.agreed(c, until).equals(hash)) {
             assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).told("CONFIG"));
             Cluster.pause(20);
         }
@@ -75,7 +75,7 @@
             c.befall(Fault.parse(0, "isolate n1"));
             assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
-            assertFalse(c.propose("n2", VersionRun.write(c, 1), "without n1").isEmpty());
+            assertFalse(Proposals.propose(c, "n2", VersionRun.write(c, 1), "without n1").isEmpty());
             while (!value(c, "n2", "acting").startsWith("2 ") || !value(c, "n3", "acting").startsWith("2 ")) {
                 Cluster.pause(20);   // the group's own word is asked for
             }
@@ -85,7 +85,7 @@
             c.befall(Fault.parse(0, "restart"));   // on its folder, two versions behind by now, and still cut off
             assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
             c.heal(true);
-            c.agreed(by(30));
+            Proposals.agreed(c, by(30));
             assertTrue(value(c, "n1", "acting").startsWith("2 "));
             assertEquals(202, send(c, "n1"));
             assertEquals(List.of(), Checkers.read(c.histories()).agreement(VersionRun.BOUND_MS + VersionRun.CLOCK_MS, VersionRun.STEP_MS));
@@ -102,11 +102,11 @@
             Files.createDirectories(strict);
             Files.writeString(strict.resolve("few.rules"), "[limit few]\nrate_per_s = " + RATE + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
             Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
-            String one = c.propose("n1", few, "one"), two = c.propose("n2", VersionRun.write(c, 7), "two");
+            String one = Proposals.propose(c, "n1", few, "one"), two = Proposals.propose(c, "n2", VersionRun.write(c, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
-            String won = c.agreed(by(30));
+            String won = Proposals.agreed(c, by(30));
             while (won.equals(Version.NONE.hash().substring(0, 12))) {
-                won = c.agreed(by(30));
+                won = Proposals.agreed(c, by(30));
             }
             assertTrue(won.equals(one) ^ won.equals(two), "one of them");
             assertEquals("1", value(c, "n3", "latest").split(" ")[0], "and the other is not the next");
@@ -114,7 +114,7 @@
             // a path that is there in the process n1 alone: what is missing on another machine
             String there = "/proc/self/task/" + c.member("n1").pid() + "/root" + strict.resolve("few.rules");
             Path mine = Files.writeString(Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"), "[rules]\nfiles = " + there + "\n");
-            assertFalse(c.propose("n1", mine, "a file of n1's own").isEmpty());
+            assertFalse(Proposals.propose(c, "n1", mine, "a file of n1's own").isEmpty());
             while (!value(c, "n1", "ended").contains("refused: ")) {
                 Cluster.pause(20);
             }
@@ -123,7 +123,7 @@
 
             String back = c.member("n2").told("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
-            while (!value(c, "n3", "acting").startsWith("3 ") || !c.agreed(by(30)).equals(Version.NONE.hash().substring(0, 12))) {
+            while (!value(c, "n3", "acting").startsWith("3 ") || !Proposals.agreed(c, by(30)).equals(Version.NONE.hash().substring(0, 12))) {
                 Cluster.pause(20);
             }
             assertTrue(c.member("n3").told("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
