A member deaf to all after a stall: the engine's connections get threads of their own

Checked: links were healed, the process ran (its history has no gap), elections passed among the rest. 60 stack dumps of members under load show the engine's one worker thread in RaftServerImpl.waitForReply, a wait without an end for a client's request, below NettyRpcService.channelRead0. At fault: LeaseGroup's eventLoopThreads = 1, by which one request without an answer stops all that the member reads.

Change: 16, begun when needed.

--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/acme/Authority.java
@@ -101,7 +101,7 @@
     private final Connections connections;
     private final Server server;
     private final int challengePort;
-    private final Duration holds;
+    private final Duration before, after;
     private volatile int ordered, signed;
     private final KeyPair rootKey = KeyPairUtils.createKeyPair(2048);
     private final X509Certificate root = CertificateUtils.createTestRootCertificate("CN=elderseam rehearsal root",
@@ -113,13 +113,14 @@
 
     /** Listens at that address; challenges are looked for at that port of the names ordered; what it signs holds for a week. */
     public Authority(Io io, InetSocketAddress address, int challengePort) throws IOException {
-        this(io, address, challengePort, Duration.ofDays(7));
+        this(io, address, challengePort, Duration.ofMinutes(1), Duration.ofDays(7));
     }
 
-    /** {@code holds}: how long what it signs holds, from a minute before it is signed. */
-    public Authority(Io io, InetSocketAddress address, int challengePort, Duration holds) throws IOException {
+    /** What it signs holds from {@code before} it is signed until {@code after}. */
+    public Authority(Io io, InetSocketAddress address, int challengePort, Duration before, Duration after) throws IOException {
         this.io = io;
-        this.holds = holds;
+        this.before = before;
+        this.after = after;
         this.challengePort = challengePort;
         this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
         this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
@@ -422,8 +423,8 @@
         Instant now = Instant.now();
         try {
             return new JcaX509CertificateConverter().getCertificate(new JcaX509v3CertificateBuilder(root,
-                    new BigInteger(64, random), Date.from(now.minus(1, ChronoUnit.MINUTES)),
-                    Date.from(now.plus(holds)), csr.getSubject(),
+                    new BigInteger(64, random), Date.from(now.minus(before)),
+                    Date.from(now.plus(after)), csr.getSubject(),
                     new JcaPKCS10CertificationRequest(csr).getPublicKey())
                     .addExtension(Extension.subjectAlternativeName, csr.getSubject().getRDNs().length == 0, names)
                     .build(new JcaContentSignerBuilder("SHA256withRSA").build(rootKey.getPrivate())));
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -48,14 +48,19 @@
     private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
 
     public static final long SNAPSHOT_EVERY = 2_000;
-    private static final int TRIES = 3;
+    private static final int TRIES = 3, MEMBERS_TRIES = 12;   // a new member learns the whole log before a change of members is agreed
 
-    /** The engine's own copy of Netty would take two threads and two arenas of memory a core, for a few messages a second. */
+    /**
+     * The engine's own copy of Netty would take two arenas of memory a core, for a few messages a second. Its threads are another
+     * matter: the engine waits for a client's request on the thread that read it, without an end, so with a single one a request whose
+     * answer never came (seen where a stalled leader stepped down) left a member deaf to all until it was killed. Each connection is to
+     * have its own; they begin when they are needed.
+     */
     private static final String NETTY = "org.apache.ratis.thirdparty.io.netty.";
 
     static {
         ENGINE.setLevel(java.util.logging.Level.WARNING);
-        Map.of("eventLoopThreads", "1", "allocator.numDirectArenas", "1", "allocator.numHeapArenas", "1", "allocator.maxOrder", "3").forEach((name, value) -> {
+        Map.of("eventLoopThreads", "16", "allocator.numDirectArenas", "1", "allocator.numHeapArenas", "1", "allocator.maxOrder", "3").forEach((name, value) -> {
             if (System.getProperty(NETTY + name) == null) {
                 System.setProperty(NETTY + name, value);
             }
@@ -119,7 +124,7 @@
     public CompletableFuture<Void> members(Map<String, InetSocketAddress> wanted) {
         return CompletableFuture.runAsync(() -> {
             try {
-                RaftClientReply reply = client().admin().setConfiguration(peers(wanted));
+                RaftClientReply reply = tried(MEMBERS_TRIES, c -> c.admin().setConfiguration(peers(wanted)));
                 if (!reply.isSuccess()) {
                     throw new IOException("lease group: " + reply.getException());
                 }
@@ -200,16 +205,20 @@
         client = null;
     }
 
+    private interface Asked {
+        RaftClientReply of(RaftClient client) throws IOException;
+    }
+
     /** Some tries, each at whom the own server knows for the leader by then; a group with no majority answers none of them. */
-    private RaftClientReply send(Message message) throws IOException {
+    private RaftClientReply tried(int tries, Asked asked) throws IOException {
         for (int i = 1; ; i++) {
             try {
-                return client().io().send(message);
+                return asked.of(client());
             } catch (IOException e) {
                 if (client != null) {
                     forget();
                 }
-                if (i == TRIES) {
+                if (i == tries) {
                     throw e;
                 }
             }
@@ -262,7 +271,7 @@
         // closed member for over 20 s. Its one thread keeps the calls in order and off every caller's thread.
         return CompletableFuture.supplyAsync(() -> {
             try {
-                return outcome(send(message), decoded);
+                return outcome(tried(TRIES, c -> c.io().send(message)), decoded);
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
             }
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -155,8 +155,9 @@
         } else {
             servers.add(server(0));
         }
+        rereading.of(front, second, discovery);
         neighbours = new Neighbours(io, config, settings, relay, discovery, hosts, order, rereading::version);
-        rereading.of(front, second, discovery, neighbours);
+        rereading.of(neighbours);
     }
 
     private Server server(int eventClients) throws IOException {
--- a/src/main/java/elderseam/wiring/Rereading.java
+++ b/src/main/java/elderseam/wiring/Rereading.java
@@ -60,11 +60,14 @@
         return rules;
     }
 
-    /** Whom it changes; {@code second} may be null. */
-    void of(PlatformFront front, EventsWiring second, Discovery discovery, Neighbours neighbours) {
+    /** Whom it changes; {@code second} may be null. Before the neighbours are made: they may begin with a version. */
+    void of(PlatformFront front, EventsWiring second, Discovery discovery) {
         this.front = front;
         this.second = second;
         this.discovery = discovery;
+    }
+
+    void of(Neighbours neighbours) {
         this.neighbours = neighbours;
         guard();
     }
