--- a/src/main/java/elderseam/wiring/OneOrder.java
+++ b/src/main/java/elderseam/wiring/OneOrder.java
@@ -25,7 +25,7 @@
  */
 final class OneOrder implements Sharing {
     private static final String LEASE = "certificate:";
-    private static final long PASS_S = 10;
+    private static final long PASS_S = 10, LEAST_PATIENCE_MS = 30_000;   // a group that starts has no leader yet
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
@@ -41,7 +41,7 @@
     OneOrder(Settings s) throws IOException {
         this.lease = LEASE + s.get(Keys.ACME_NAMES).get(0);
         this.seal = Seal.read(Path.of(s.get(Keys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
-        this.duty = new OrderDuty(4 * s.get(Keys.FLEET_TTL_MS));
+        this.duty = new OrderDuty(Math.max(LEAST_PATIENCE_MS, 4 * s.get(Keys.FLEET_TTL_MS)));
     }
 
     String lease() {
--- a/src/test/java/elderseam/fleet/rig/GossipLeaseTest.java
+++ b/src/test/java/elderseam/fleet/rig/GossipLeaseTest.java
@@ -16,8 +16,10 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Why leases stand on a replicated log: decided by gossip alone, two processes hold one at once as soon as a link is cut. */
+@ResourceLock("rig two")   // each class starts some processes: two classes at a time
 class GossipLeaseTest {
     @TempDir
     Path folder;
--- a/src/test/java/elderseam/fleet/rig/HardCasesTest.java
+++ b/src/test/java/elderseam/fleet/rig/HardCasesTest.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** The hard cases of a lease, each on three real processes of the program with a fault proxy between them. */
+@ResourceLock("rig one")   // each class starts some processes: two classes at a time
 class HardCasesTest {
     @TempDir
     Path folder;
--- a/src/test/java/elderseam/fleet/rig/OneOrderTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneOrderTest.java
@@ -23,8 +23,10 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member orders the certificate for all, on three real processes and the stand-in authority, which asks one of them alone. */
+@ResourceLock("rig two")   // each class starts some processes: two classes at a time
 class OneOrderTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
--- a/src/test/java/elderseam/fleet/rig/OneTrialTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneTrialTest.java
@@ -14,8 +14,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member tries a failing destination for all: the decision, and three real processes with it off and on. */
+@ResourceLock("rig one")   // each class starts some processes: two classes at a time
 class OneTrialTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
--- a/src/test/java/elderseam/fleet/rig/OneWatchTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneWatchTest.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member watches discovery for all, on three real processes: fewer calls, and news reach everybody over a crash of the one. */
+@ResourceLock("rig two")   // each class starts some processes: two classes at a time
 class OneWatchTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
     private static final int SECONDS = 3;
--- a/src/test/java/elderseam/fleet/rig/SharesTest.java
+++ b/src/test/java/elderseam/fleet/rig/SharesTest.java
@@ -11,8 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Choices of eight real processes that add up: even subsets, limits divided by who is there, one trial by turns. Off and on in one run. */
+@ResourceLock("rig two")   // each class starts some processes: two classes at a time
 class SharesTest {
     private static final String SHARES = "[shares]\nmembers = gossip\nhold_s = 2\nendpoint_connections = 2\nconnections_each = 1\n";
 
