--- a/src/main/java/elderseam/fleet/rig/Proposals.java
+++ b/src/main/java/elderseam/fleet/rig/Proposals.java
@@ -13,7 +13,11 @@
 
     /** A value of what a member answers to CONFIG; "" where it says nothing of that. */
     static String value(Cluster c, String member, String name) throws IOException {
-        return c.member(member).told("CONFIG").lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
+        return value(c.member(member).told("CONFIG"), name);
+    }
+
+    private static String value(String answer, String name) {
+        return answer.lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
     }
 
     /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
@@ -35,8 +39,9 @@
             boolean sure = true;
             for (String g : c.group()) {
                 if (c.member(g).alive()) {
-                    acting.add(value(c, g, "acting"));
-                    sure &= value(c, g, "acting").equals(value(c, g, "latest")) && value(c, g, "doubt").equals("no") && value(c, g, "pending").equals("none");
+                    String s = c.member(g).told("CONFIG");   // one answer: its lines are of one moment
+                    acting.add(value(s, "acting"));
+                    sure &= value(s, "acting").equals(value(s, "latest")) && value(s, "doubt").equals("no") && value(s, "pending").equals("none");
                 }
             }
             if (sure && acting.size() == 1) {
