--- a/src/test/java/elderseam/fleet/rig/OneTrialTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneTrialTest.java
@@ -69,7 +69,7 @@
         return calls;
     }
 
-    private static void feed(Cluster c, List<String> at, long ms) throws Exception {
+    static void feed(Cluster c, List<String> at, long ms) throws Exception {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until) {
             for (String member : at) {
--- a/src/test/java/elderseam/fleet/rig/SharesTest.java
+++ b/src/test/java/elderseam/fleet/rig/SharesTest.java
@@ -79,31 +79,21 @@
         }
     }
 
-    private static void feed(Cluster c, List<String> at, long ms) throws Exception {
-        long until = System.nanoTime() + ms * 1_000_000;
-        while (System.nanoTime() < until) {
-            for (String member : at) {
-                c.outside().send(member, 1).get(10, TimeUnit.SECONDS);
-            }
-            Cluster.pause(50);   // the traffic's own pace
-        }
-    }
-
     private static long callsInAnOutage(Cluster c) throws Exception {
         List<String> at = new ArrayList<>();
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
         c.outside().fail(true);
-        feed(c, at, 4_000);
+        OneTrialTest.feed(c, at, 4_000);
         long before = c.outside().failed();
-        feed(c, at, 8_000);
+        OneTrialTest.feed(c, at, 8_000);
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
         long delivered = c.outside().delivered(), until = by(20);
         while (c.outside().delivered() < delivered + 40) {   // more than one member could deliver in the time alone
             assertTrue(System.nanoTime() < until, "not delivered again after the outage");
-            feed(c, at, 200);
+            OneTrialTest.feed(c, at, 200);
         }
         return calls;
     }
