Downstream connections end by a lingering close, and none without an answer

Cause: Downstreams.close and the drain's closeConnections closed the socket over whatever lay unread, which resets it; Undertow's own clean close waits for one byte only and then does the same; guarding() closed a new connection where no room could be made. At fault was HttpReadListener.sendBadRequestAndClose, Undertow's own answer to a head that it can't parse: it writes 400 and closes at once.

Now: what is written is flushed, the sending ends, what still comes is read and dropped (256 KiB and a second at most), then the connection closes. A resting one with a head half read stays. A new one past the bound, or silent at the end of a drain, gets 503 with Retry-After. Undertow's own 400 is held back and answered the same way. An exchange that is refused is dispatched, so that Undertow does not end it with an answer of its own. The port closes after a pass over the sockets; the process parts from its clients within 0.5 s, 3.5 s after SIGTERM at the latest.

--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -36,7 +36,7 @@
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     /** An open connection: the request on it, or since when it stands idle, or the request given up on it. */
-    private final class Link {
+    final class Link {
         final StreamConnection channel;
         Request current, givenUp;
         long since;
@@ -97,7 +97,7 @@
     private int most;
     private final int mostBody;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
-    private final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
+    final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
     private int open;                                                          // with those still connecting
     private final ArrayDeque<Link> listening = new ArrayDeque<>();             // oldest first
     private boolean looking;
--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/Downstreams.java
@@ -1,6 +1,11 @@
 package elderseam.http;
 
 import elderseam.core.Clock;
+import io.undertow.util.ConnectionUtils;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -10,10 +15,18 @@
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSinkConduit;
+import org.xnio.conduits.StreamSinkConduit;
 
 /**
  * The downstream connections of one server: each may stay as it is until a time of its own, and they stay under a bound.
- * A connection that finds the bound reached takes the place of one that has sent no whole request, or asks nothing.
+ * A connection that finds the bound reached takes the place of one that has sent no whole request, or asks nothing; where
+ * there is none such, it is told to come again.
+ *
+ * <p>A connection ends by a lingering close: what is written is flushed, the sending ends, and what still comes is read and
+ * dropped until the client ends too, within bounds of time and bytes. A close over unread bytes would reset it, and with it
+ * an answer that is on its way. Nothing that is read after the sending ended is ever handed on: it could not be answered,
+ * and the client, which finds the end and no answer, asks anew.
  */
 final class Downstreams {
     private static final long WHOLE_NS = 2_400 * Clock.MS;          // for a request to be there, from connecting
@@ -24,8 +37,10 @@
     private static final long KEPT_SHORT_NS = 2_100 * Clock.MS;     // the same, once half the bound is reached
     private static final long SILENT_NS = 1_000 * Clock.MS;         // idle ones go first while a new one is younger
     private static final long LOOK_NS = 100 * Clock.MS;
+    private static final long ENDING_NS = 1_000 * Clock.MS;         // for the client to end its side, too
+    private static final int ENDING_BEYOND = 4;                     // that end may stand beside so many as there may be
 
-    private enum State { READING, ASKED, ANSWERED, IDLE }
+    private enum State { READING, ASKED, ANSWERED, IDLE, ENDING }
 
     /** One connection: what it does, since when, and until when it may. */
     final class Downstream {
@@ -40,6 +55,7 @@
             this.channel = channel;
             heads = new HeadCheck(channel.getSourceChannel().getConduit());
             channel.getSourceChannel().setConduit(heads);
+            channel.getSinkChannel().setConduit(new Answers(channel.getSinkChannel().getConduit()));
             since = io.clock.now();
             until = since + WHOLE_NS;
         }
@@ -81,6 +97,21 @@
             to(State.IDLE, io.clock.now() + KEPT_NS);
         }
 
+        /** The answer was the last on this connection, whose sending ends now. */
+        void ending() {
+            if (state != State.ENDING) {
+                settle();
+                heads.drop();
+                ending++;
+                to(State.ENDING, io.clock.now() + ENDING_NS);
+            }
+        }
+
+        /** Whether nothing of a request has come since the last answer, or since it connected. */
+        private boolean rests() {
+            return (state == State.IDLE || state == State.READING && first) && !heads.begun();
+        }
+
         private void to(State next, long by) {
             state = next;
             since = io.clock.now();
@@ -94,23 +125,53 @@
 
         private void settle() {
             free();
-            if (!first && state != State.IDLE) {
+            if (!first && state != State.IDLE && state != State.ENDING) {
                 unanswered--;
             }
+            ending -= state == State.ENDING ? 1 : 0;
             state = State.IDLE;
         }
 
+        /**
+         * What is written. With nothing asked that can only be Undertow's own answer to a head that is none, behind which it closes at
+         * once, over what is unread: it is answered here instead, and Undertow is left waiting until the lingering close is over.
+         */
+        private final class Answers extends AbstractStreamSinkConduit<StreamSinkConduit> {
+            private boolean ours;
+
+            Answers(StreamSinkConduit next) {
+                super(next);
+            }
+
+            @Override
+            public int write(ByteBuffer bytes) throws IOException {
+                if (!ours && (state == State.IDLE || state == State.READING && first)) {
+                    ours = true;
+                    refuse(Downstream.this, 400);
+                    return 0;
+                }
+                return super.write(bytes);
+            }
+
+            @Override
+            public void resumeWrites() {
+                if (!ours) {
+                    super.resumeWrites();
+                }
+            }
+        }
+
         /** How readily it is given up for a new one; 4: not at all. */
         private int rank(long now) {
-            boolean silent = state == State.READING, idle = state == State.IDLE;
-            return silent && now - since > SILENT_NS ? 0 : idle && now - since > KEPT_SHORT_NS ? 1 : idle ? 2 : silent ? 3 : 4;
+            boolean silent = state == State.READING || state == State.IDLE && heads.begun(), idle = state == State.IDLE;
+            return state == State.ENDING ? 5 : silent && now - since > SILENT_NS ? 0 : idle && now - since > KEPT_SHORT_NS ? 1 : idle ? 2 : silent ? 3 : 4;
         }
     }
 
     private final Io io;
     private final int most, mostReading;
-    private final Map<StreamConnection, Downstream> open = new LinkedHashMap<>();   // oldest first
-    private int unanswered, reading;
+    final Map<StreamConnection, Downstream> open = new LinkedHashMap<>();   // oldest first
+    private int unanswered, reading, ending;
     private boolean looking;
 
     /** {@code mostReading}: bytes of bodies that are being read, over all. */
@@ -123,12 +184,17 @@
     /** Hands each new connection on, once there is room for it. */
     ChannelListener<StreamConnection> guarding(ChannelListener<? super StreamConnection> next) {
         return channel -> {
-            if (open.size() >= most && !makeRoom()) {
-                IoUtils.safeClose(channel);
-                return;
+            boolean room = open.size() - ending < most || makeRoom();
+            while (open.size() >= most + ENDING_BEYOND && ending > 0) {
+                open.values().stream().filter(d -> d.state == State.ENDING).findFirst().ifPresent(this::close);
+            }
+            Downstream fresh = new Downstream(channel);
+            open.put(channel, fresh);
+            if (room) {
+                ChannelListeners.invokeChannelListener(channel, next);
+            } else {
+                refuse(fresh, 503);
             }
-            open.put(channel, new Downstream(channel));
-            ChannelListeners.invokeChannelListener(channel, next);
             ChannelListener<? super StreamConnection> theirs = channel.getCloseListener();
             channel.setCloseListener(c -> {
                 ended(c);
@@ -154,12 +220,25 @@
         return open.size();
     }
 
-    /** A request that lies unread in its socket must not be closed upon, so a pass over the sockets is made before. */
+    /** Ends those that carry nothing. A request that lies unread in its socket is read first, and answered. */
     void closeIdle() {
         io.afterReading(() -> {
             long now = io.clock.now();
-            open.values().stream().filter(d -> d.state == State.IDLE || d.state == State.READING && d.first
-                    && !d.heads.begun() && now - d.since > SILENT_NS).toList().forEach(this::close);
+            List<Downstream> resting = open.values().stream().filter(d -> d.rests() && (!d.first || now - d.since > SILENT_NS)).toList();
+            resting.forEach(this::end);
+        });
+    }
+
+    /** The process ends: those that have sent nothing yet are told to come again, and all that carry nothing end. */
+    void endAll() {
+        io.afterReading(() -> {
+            for (Downstream d : List.copyOf(open.values())) {
+                if (d.rests() && d.first) {
+                    refuse(d, 503);
+                } else if (d.rests()) {
+                    end(d);
+                }
+            }
         });
     }
 
@@ -169,10 +248,32 @@
         if (given.rank(now) > 3) {
             return false;
         }
-        close(given);
+        end(given);
         return true;
     }
 
+    /** The last answer on that connection, whatever has come on it, be it nothing: a new one must not end without an answer. */
+    void refuse(Downstream d, int code) {
+        String again = code == 503 ? "Retry-After: 1\r\n" : "";
+        byte[] answer = ("HTTP/1.1 " + code + " " + StatusCodes.getReason(code) + "\r\n" + again
+                + "Connection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+        d.ending();
+        try {
+            d.channel.getSinkChannel().write(ByteBuffer.wrap(answer));   // one that was not answered yet takes it whole
+        } catch (IOException e) {
+            close(d);   // gone already
+            return;
+        }
+        d.channel.getSourceChannel().setConduit(d.heads);   // whatever reads a body there minds its bounds, and closes
+        ConnectionUtils.cleanClose(d.channel);
+    }
+
+    /** The lingering close; Undertow's does it, with what still comes dropped on the way to it. */
+    private void end(Downstream d) {
+        d.ending();
+        ConnectionUtils.cleanClose(d.channel);
+    }
+
     private void close(Downstream d) {
         IoUtils.safeClose(d.channel);
         ended(d.channel);   // in case no listener told
@@ -194,11 +295,18 @@
                 boolean crowded = open.size() > most / 2;
                 List<Downstream> due = new ArrayList<>();
                 for (Downstream d : open.values()) {
-                    if (now >= d.until || crowded && d.state == State.IDLE && now - d.since > KEPT_SHORT_NS) {
-                        due.add(d);
+                    boolean idle = d.state == State.IDLE;
+                    if (idle ? !d.heads.begun() && (now >= d.until || crowded && now - d.since > KEPT_SHORT_NS) : now >= d.until) {
+                        due.add(d);   // an idle one with a head half read has Undertow's time for it
+                    }
+                }
+                for (Downstream d : due) {
+                    if (d.state == State.IDLE || d.state == State.READING) {
+                        end(d);
+                    } else {
+                        close(d);   // it takes no answer, or does not end its side: nothing can be waited for
                     }
                 }
-                due.forEach(this::close);
                 look();
             });
         }
--- a/src/main/java/elderseam/http/HeadCheck.java
+++ b/src/main/java/elderseam/http/HeadCheck.java
@@ -8,10 +8,15 @@
 /**
  * Looks over the heads that pass, line by line: Undertow's parser takes "a line with no colon" for a header named "a",
  * and a name with a blank behind it for that name. What follows a head passes unseen until the next one is told.
+ *
+ * <p>Of a connection that is {@link #drop ending} it reads and drops what still comes: Undertow's own close waits for one byte
+ * and then closes over the rest, which resets the connection, and the answer that is on its way goes with it.
  */
 final class HeadCheck extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private boolean inHead, firstLine, named, bad;
-    private int length;
+    private static final int MOST_DROPPED = 256 << 10;   // who sends more than that to a half-closed connection is not waited for
+    private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(16 << 10);   // of the one I/O thread
+    private boolean inHead, firstLine, named, bad, drops;
+    private int length, dropped;
 
     HeadCheck(StreamSourceConduit next) {
         super(next);
@@ -36,8 +41,28 @@
         return bad;
     }
 
+    /** From now on nothing is handed on: 0 while more may come, -1 at the end, or once it is too much. */
+    void drop() {
+        drops = true;
+    }
+
+    private int dropping() throws IOException {
+        while (dropped < MOST_DROPPED) {
+            DROPPED.clear();
+            int n = super.read(DROPPED);
+            if (n <= 0) {
+                return n;
+            }
+            dropped += n;
+        }
+        return -1;
+    }
+
     @Override
     public int read(ByteBuffer to) throws IOException {
+        if (drops) {
+            return dropping();
+        }
         int from = to.position();
         int n = super.read(to);
         look(to, from);
@@ -46,6 +71,9 @@
 
     @Override
     public long read(ByteBuffer[] to, int offset, int count) throws IOException {
+        if (drops) {
+            return dropping();
+        }
         int[] from = new int[count];
         for (int i = 0; i < count; i++) {
             from[i] = to[offset + i].position();
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -69,7 +69,7 @@
     private final UndertowXnioSsl ssl;
     private final int mostBody;
     private final Handler handler;
-    private final Downstreams downstreams;
+    final Downstreams downstreams;
     private boolean closing;
 
     /** Serves TLS where a context is given, else plain HTTP. */
@@ -135,7 +135,11 @@
                 return;
             }
             exchange.addExchangeCompleteListener((x, next) -> {
-                d.idle();
+                if (x.isPersistent()) {
+                    d.idle();
+                } else {
+                    d.ending();
+                }
                 next.proceed();
             });
             long length = exchange.getRequestContentLength();
@@ -182,11 +186,17 @@
         }
     }
 
-    /** Answers what can't be served, and ends the connection: where the next request would begin is unknown. */
+    /**
+     * Answers what can't be served, and ends the connection: where the next request would begin is unknown. The exchange is dispatched,
+     * and with that ours: Undertow would end it by an answer of its own, and close over what is unread where that fails.
+     */
     private void refuse(HttpServerExchange x, int code) {
-        x.setPersistent(false);
-        x.getResponseHeaders().put(Headers.CONNECTION, "close");
-        answer(x, code, Map.of(), "");
+        x.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            Downstreams.Downstream d = downstreams.of(channel(x));
+            if (d != null && !x.isResponseStarted()) {
+                downstreams.refuse(d, code);
+            }
+        });
     }
 
     private void handle(HttpServerExchange x, byte[] body) {
@@ -239,6 +249,11 @@
         return downstreams.unanswered();
     }
 
+    /** Ends all connections but those whose request is being read or answered. */
+    public void endConnections() {
+        downstreams.endAll();
+    }
+
     /** Takes no new connections. */
     public void stopAccepting() {
         if (given != null) {
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -45,6 +45,7 @@
 public final class Daemon implements Succession.Estate {
     private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
+    private static final long PARTING_NS = 500 * Clock.MS, PARTED_NS = 200 * Clock.MS;   // for clients to end their side; and beyond the end
     private static final long KEPT_NS = 700 * Clock.MS, AGAIN_NS = 50 * Clock.MS;   // idle clients in a drain: from when, how often
     private static final int MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
@@ -342,22 +343,36 @@
                 servers.forEach(s -> s.closing(true));
                 relay.closing(start + END_NS);
                 System.err.println("draining");
-                io.at(start + COMING_NS, () -> {
+                io.at(start + COMING_NS, () -> io.afterReading(() -> {   // who has come is taken: a closed socket resets them
                     servers.forEach(Server::stopAccepting);
                     settle(start + END_NS, ended);
-                });
+                }));
             }
         }
     }
 
     private void settle(long end, CountDownLatch ended) {
         boolean settled = relay.held() == 0 && front.owed() == 0;
-        if (servers.get(0).unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS)
-                || io.clock.now() > end) {
-            servers.forEach(Server::closeConnections);
-            ended.countDown();
+        if (unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS) || io.clock.now() > end) {
+            part(Math.min(io.clock.now() + PARTING_NS, end + PARTED_NS), ended);
             return;
         }
+        servers.forEach(Server::closeIdle);
         io.at(io.clock.now() + LOOK_NS, () -> settle(end, ended));
     }
+
+    /** Clients are parted from: a process that ends over unread bytes resets its connections, and answers on their way with them.
+     *  What is read meanwhile is answered yet. */
+    private void part(long by, CountDownLatch ended) {
+        servers.forEach(Server::endConnections);
+        if (servers.stream().allMatch(s -> s.open() == 0) || io.clock.now() > by) {
+            ended.countDown();
+            return;
+        }
+        io.at(io.clock.now() + LOOK_NS, () -> part(by, ended));
+    }
+
+    private int unanswered() {
+        return servers.get(0).unanswered();   // clients of events ask again, with the same identity
+    }
 }
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -51,7 +51,9 @@
  * ask        operator: this line on the second address -> what the answer holds, each of these parts (set apart by ;)
  * wait       operator: as ask, again and again until the answer holds that
  * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
- *            reload (done), kept (the old configuration), exit CODE
+ *            reload (done), kept (the old configuration), exit CODE; ended (as closed, and in order, not reset);
+ *            a narrow host: begun (a byte of a request has come, and no more is read)
+ * indent     platform: its lists are indented from now on
  * </pre>
  */
 final class Scenario implements AutoCloseable {
@@ -62,6 +64,7 @@
     private final Path folder;
     private final Map<String, Wire.Link> links = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
+    private final Map<String, ServerSocket> places = new ConcurrentHashMap<>();
     private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private volatile News news = new News();
     private final BlockingQueue<Long> gaps = new LinkedBlockingQueue<>();   // ms from an answer to the next watch
@@ -78,7 +81,8 @@
     private String events = "", listen = "127.0.0.1:0";
     private int nice;
     private boolean operated = true;
-    private String flag = "-Xshare:auto", trap = "";
+    private String flag = "-Xshare:auto", trap = "", settings;
+    private volatile boolean indented;
 
     /**
      * Changes of the list, told to each watch that has not heard of them; "fail" and "mute" befall one watch. Changes and version are read
@@ -120,11 +124,19 @@
 
         final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
         final List<Wire.Link> links = new ArrayList<>();
+        final BlockingQueue<Socket> narrow = new LinkedBlockingQueue<>();   // connections of which nothing is read yet
         final ServerSocket server;
         Wire.Link last;
+        boolean narrows;
 
         Host() throws IOException {
-            server = Wire.listen(Wire.own(), 0, this::take);
+            server = Wire.listen(Wire.own(), 0, socket -> {
+                if (narrows) {
+                    narrow.add(socket);
+                } else {
+                    take(socket);
+                }
+            });
         }
 
         private synchronized void take(Socket socket) {
@@ -300,6 +312,7 @@
         switch (verb) {
             case "send" -> news.add(words);
             case "deaf" -> deaf = Integer.parseInt(words);
+            case "indent" -> indented = true;
             case "close" -> {
                 platform.close();
                 for (Wire.Link link : List.copyOf(platformLinks)) {
@@ -335,6 +348,7 @@
             }
             case "send" -> h.last.write(response(words));
             case "raw" -> h.last.write(bytes(words));
+            case "end" -> h.last.socket.shutdownOutput();
             case "close" -> {
                 if (words.equals("all")) {
                     h.server.close();
@@ -344,7 +358,11 @@
                 }
             }
             default -> {
-                if (words.equals("closed")) {
+                if (words.equals("begun")) {
+                    Socket socket = h.narrow.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                    assertNotNull(socket, "no connection came");
+                    assertEquals('P', socket.getInputStream().read(), "the first byte of POST");
+                } else if (words.equals("closed")) {
                     assertEquals(Wire.ENDED, h.last.read.poll(CLOSED_S, TimeUnit.SECONDS));
                 } else {
                     quiet(h.asked, words);
@@ -362,11 +380,20 @@
             case "raw" -> link(name).write(bytes(words));
             case "expect" -> holds(link(name).next(), words);
             case "close" -> links.remove(name).reset();
-            default -> assertEquals(Wire.ENDED, links.remove(name).read.poll(words.equals("closed")
-                    ? 1_000 * Wire.PATIENCE_S : Long.parseLong(words.substring(7)), TimeUnit.MILLISECONDS));
+            case "end" -> links.get(name).socket.shutdownOutput();
+            default -> {
+                Wire.Link link = links.get(name);
+                closed(name, words.equals("ended") ? "closed" : words);
+                assertTrue(!words.equals("ended") || !link.reset, "the connection was reset");
+            }
         }
     }
 
+    private void closed(String name, String words) throws InterruptedException {
+        assertEquals(Wire.ENDED, links.remove(name).read.poll(words.equals("closed")
+                ? 1_000 * Wire.PATIENCE_S : Long.parseLong(words.substring(7)), TimeUnit.MILLISECONDS));
+    }
+
     /** {in N}: the instant N ms from now. */
     private static String instants(String words) {
         return Pattern.compile("\\{in (\\d+)}").matcher(words)
@@ -410,6 +437,27 @@
         this.flag = flag;
     }
 
+    /** The deployment's settings unless told otherwise. */
+    static String settings() throws IOException {
+        return new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
+    }
+
+    /** The next starts are of a deployment with these settings. */
+    void settings(String json) {
+        settings = json;
+    }
+
+    /** That host accepts connections from now on, and reads nothing of them; its window is small. */
+    void narrow(String host) throws IOException {
+        hosts.get(host).server.setReceiveBufferSize(4_096);
+        hosts.get(host).narrows = true;
+    }
+
+    /** Lists have that host at this socket, which the test itself serves. */
+    void place(String host, ServerSocket at) {
+        places.put(host, at);
+    }
+
     /** What the platform was told so far, in that order, and not yet expected. */
     java.util.Collection<String> told() {
         return notices;
@@ -515,7 +563,8 @@
                 }
                 StringBuilder entries = new StringBuilder();
                 since.forEach(c -> entries.append(entries.isEmpty() ? "" : ",").append(entry(c.split(" ")[0], c.split(" ")[1])));
-                link.write(Wire.answer(200, "", "{\"version\":" + heard.version + ",\"full\":false,\"servers\":[" + entries + "]}"));
+                String list = "{\"version\":" + heard.version + ",\"full\":false,\"servers\":[" + entries + "]}";
+                link.write(Wire.answer(200, "", indented ? list.replaceAll("([{\\[]|,(?=[\"{]))", "$1\n\t ").replace("\":", "\" : ").replaceAll("([}\\]])", "\r\n  $1") : list));
                 answered = System.nanoTime();
             } catch (IOException | InterruptedException e) {
                 // the program has gone
@@ -526,7 +575,7 @@
     }
 
     private String entry(String name, String state) {
-        return "{\"id\":\"" + name + "\",\"addr\":\"" + Wire.address(hosts.get(name).server) + "\",\"zone\":\"z\","
+        return "{\"id\":\"" + name + "\",\"addr\":\"" + Wire.address(places.getOrDefault(name, hosts.get(name).server)) + "\",\"zone\":\"z\","
                 + "\"kind\":\"bank\",\"cell\":" + (name.charAt(1) % 2 == 1 ? 1 : 2) + ",\"state\":\"" + state
                 + "\",\"weight\":50.0,\"started_ms\":0}";
     }
@@ -592,11 +641,11 @@
 
     /** Writes the configuration, or these words in its place. */
     private void configure(String words) throws IOException {
-        String settings = new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
+        String told = settings == null ? settings() : settings;
         Files.writeString(folder.resolve("config.json"), !words.isEmpty() ? words
                 : "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + Wire.address(platform)
                 + "\",\"limits\":{\"sockets\":" + SOCKETS + ",\"memory_mb\":32,\"disk_mb\":" + diskMb + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
-                + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + settings + "}");
+                + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + told + "}");
     }
 
     long pid() {
--- a/src/test/java/elderseam/scenario/Wire.java
+++ b/src/test/java/elderseam/scenario/Wire.java
@@ -28,6 +28,7 @@
     static final class Link {
         final Socket socket;
         final BlockingQueue<String> read = new LinkedBlockingQueue<>();
+        volatile boolean reset;   // it did not end in order
 
         Link(Socket socket, Consumer<String> also) {
             this.socket = socket;
@@ -39,7 +40,7 @@
                         also.accept(m);
                     }
                 } catch (IOException e) {
-                    // as good as an end
+                    reset = true;   // as good as an end, unless it is asked for
                 }
                 read.add(ENDED);
             });
