A told wait ends with the process: what was taken on and untried is tried after a restart

Seen: EndingsTest.whatIsJournalledAndUntriedIsTriedAfterADrain fails on ("no request came"): a host told one call to wait 60 s, a message was taken on, and the process that came after SIGTERM held that wait (restored from what was learned) until the message's time was over.

Cause: Books.carry read waitUntil, pauseUntil and an openUntil that stood for the wait alone as times that go on.

Now Sender.Ledger.ends tells a wait's end from other times; for a process that begins anew it is past, for a hand-over under load it goes on. Breakers that opened by failures stay as they were learned. EndingsTest plays SIGTERM and SIGKILL at each step of a request, and a second SIGTERM.

--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -107,12 +107,12 @@
 
     /**
      * Takes up what an earlier process on this folder had learned less than a minute ago, before the first list, and keeps what
-     * this one learns from now on, once a second.
+     * this one learns from now on, once a second. A told wait ended with that process: what it had taken on and not tried is tried.
      */
     public void remember() {
         try {
             byte[] kept = new Learned(journal.aside(LEARNED), shape()).kept();
-            LedgerBytes.Reader reader = kept == null ? null : new LedgerBytes.Reader(kept, clock);
+            LedgerBytes.Reader reader = kept == null ? null : new LedgerBytes.Reader(kept, clock, true);
             if (reader != null && reader.agoNs >= 0 && reader.agoNs < Learned.FRESH_NS) {
                 facade.carry(clock.now(), reader);
             }
@@ -163,7 +163,7 @@
      * out; {@code abandon} asks it to give one up.
      */
     public void takeOver(Estate estate, Consumer<Out> abandon) {
-        facade.carry(clock.now(), new LedgerBytes.Reader(estate.learned(), clock));
+        facade.carry(clock.now(), new LedgerBytes.Reader(estate.learned(), clock, false));
         Map<String, Out> calls = new HashMap<>();
         estate.out().forEach(o -> calls.put(o.id(), o));
         for (Stream s : journal.out(calls.keySet())) {
--- a/src/main/java/elderseam/core/LedgerBytes.java
+++ b/src/main/java/elderseam/core/LedgerBytes.java
@@ -71,15 +71,19 @@
 
     static final class Reader implements Ledger {
         private final DataInputStream in;
-        private final long shift;
+        private final long shift, now;
+        private final boolean anew;
         /** How long ago it was written, by the wall clock. */
         final long agoNs;
 
-        Reader(byte[] bytes, Clock clock) {
+        /** {@code anew}: the process that wrote it is dead, and its waits have ended with it. */
+        Reader(byte[] bytes, Clock clock, boolean anew) {
+            this.anew = anew;
+            now = clock.now();
             in = new DataInputStream(new ByteArrayInputStream(bytes));
             long theirs = whole(0), wallMs = whole(0);
             agoNs = (clock.wallMs() - wallMs) * Clock.MS;
-            long by = clock.now() - theirs - (clock.wallMs() - wallMs) * Clock.MS;
+            long by = now - theirs - (clock.wallMs() - wallMs) * Clock.MS;
             shift = Math.abs(by) < SAME_NS ? 0 : by;
         }
 
@@ -104,6 +108,11 @@
             return moves ? value + shift : value;
         }
 
+        @Override
+        public long ends(long wait) {
+            return anew ? Math.min(wait, now) : wait;
+        }
+
         @Override
         public String text(String none) {
             try {
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -133,8 +133,9 @@
     private static void carry(Brain.Circuit c, Sender.Ledger l) {
         c.state = Brain.State.values()[(int) l.whole(c.state.ordinal())];
         c.byHang = l.flag(c.byHang);
-        c.openUntil = l.time(c.openUntil);
-        c.waitUntil = l.time(c.waitUntil);
+        long opens = l.time(c.openUntil), waits = l.time(c.waitUntil);
+        c.openUntil = opens > waits ? opens : l.ends(opens);   // asleep for a told wait alone, it wakes with the wait's end
+        c.waitUntil = l.ends(waits);
         c.lastGood = l.time(c.lastGood);
         c.goodStart = l.time(c.goodStart);
         c.runFrom = l.time(c.runFrom);
@@ -149,7 +150,7 @@
         c.level = l.real(c.level);
         c.sick = l.real(c.sick);
         c.refilled = l.time(c.refilled);
-        c.pauseUntil = l.time(c.pauseUntil);
+        c.pauseUntil = l.ends(l.time(c.pauseUntil));
         c.pause = l.whole(c.pause);
         c.lastCut = l.time(c.lastCut);
         c.lastFull = l.time(c.lastFull);
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/module/Sender.java
@@ -153,6 +153,11 @@
         /** Of the clock; what is far from any time of it (none, never) passes as it is. */
         long time(long value);
 
+        /** The end of a told wait, of the clock; for a process that begins anew it is past, as a restart ends each wait. */
+        default long ends(long wait) {
+            return wait;
+        }
+
         String text(String value);
 
         default boolean flag(boolean value) {
