A silent watch is opened anew a second before what it missed counts as told

And where discovery had been away for 7.5 s the module asked again after up to 10 s (RulesTest.aFailedSubscriptionIsRenewed, extended, fails at the sixth call), while what it tells at its return counts 6 s later at the latest.

Cause: Discovery waited 5 + 1.7 s, and told the silence to the module as a failure, which backs off (Brain.endpoints: 0.5 s doubled up to 16 times). Ruled out: the connection (a new one was opened at once when asked for).

Now a watch waits 3.5 s and 1.5 s more for its answer; one that ran silent is no failure and is opened anew at once; the back-off ends at 4 s, with its jitter 5. No logic was added to the module.

--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/module/Brain.java
@@ -460,7 +460,7 @@
         advance(now);
         if (kind == Sender.ListKind.FAILED) {
             subscribed = false;
-            double wait = SUBSCRIBE_NS * (double) (1 << Math.min(4, subscribeFailures++));
+            double wait = SUBSCRIBE_NS * (double) (1 << Math.min(3, subscribeFailures++));
             subscribeAt = now + (long) (wait * (0.75 + 0.5 * random.nextDouble()));
             return;
         }
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -3,6 +3,8 @@
 import elderseam.core.Clock;
 import elderseam.core.Json;
 import elderseam.core.Relay;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.core.UpstreamRequest.Status;
 import elderseam.http.Call;
 import elderseam.http.Connections;
 import elderseam.http.Io;
@@ -13,12 +15,13 @@
 import java.util.List;
 
 /**
- * Watches the list of upstream hosts. Each answer is followed at once by the next call, so that the watch goes on; a
- * call that fails is told as such, and the module says when to ask again.
+ * Watches the list of upstream hosts. Each answer is followed at once by the next call, so that the watch goes on; one that
+ * has fallen silent is opened anew at once, since what it misses counts as told from 6 s after it fell silent; a call that
+ * fails otherwise is told as such, and the module says when to ask again.
  */
 public final class Discovery {
-    private static final long WAIT_MS = 5_000;                      // a silent discovery shows after this
-    private static final long ANSWER_NS = 1_700 * Clock.MS;         // and so much more for the answer
+    private static final long WAIT_MS = 3_500;                      // a silent discovery shows after this
+    private static final long ANSWER_NS = 1_500 * Clock.MS;         // and so much more for the answer: a second is left to ask anew
 
     private final Io io;
     private final Connections connections;
@@ -144,6 +147,10 @@
                 System.err.println("discovery: " + e.getMessage());
             }
         }
+        if (reply.failure() == Status.TIMED_OUT && reply.progress() == Progress.WRITTEN) {   // silent: its connection is of no use
+            watch();
+            return;
+        }
         relay.hosts(Sender.ListKind.FAILED, List.of());
     }
 }
--- a/src/test/java/elderseam/module/RulesTest.java
+++ b/src/test/java/elderseam/module/RulesTest.java
@@ -124,6 +124,12 @@
         rig.brain.turnEnd(rig.now);
         rig.pass(1 * S);
         assertEquals(2, rig.subscribes);
+        for (int i = 3; i < 12; i++) {   // however long discovery was away: what it has to tell at its return counts as told 6 s after
+            rig.brain.endpoints(rig.now, Sender.ListKind.FAILED, java.util.List.of());
+            rig.brain.turnEnd(rig.now);
+            rig.pass(5 * S);
+            assertEquals(i, rig.subscribes);
+        }
     }
 
     @Test
