Every deployment by its settings alone: pushed lists heard, faults named

Cause: Brain subscribes only where settings ask for lists (SettingsMap.askForList); on sockets lists come on a watch either way, so Config says so. SettingsCheck names each fault with what is allowed, all at once, and the start ends with 1 (SIGHUP keeps the old).

--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -152,7 +152,7 @@
         private String a;
         @Parameters(index = "1", paramLabel = "B")
         private String b;
-        @Option(names = "--figure", split = ",", defaultValue = "service,worst_10s,refused,failed,calls,failed_calls,rent_payment_p99_ms",
+        @Option(names = "--figure", split = ",", defaultValue = "service,worst_10s,refused,failed,calls,failed_calls,once_p99_ms",
                 description = "(${DEFAULT-VALUE})")
         private List<String> figures;
 
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -96,7 +96,7 @@
         private CommandSpec spec;
         @Mixin
         private Given given;
-        @Parameters(index = "1", paramLabel = "EXPR", description = "such as \"message.class == 'rent-payment'\"")
+        @Parameters(index = "1", paramLabel = "EXPR", description = "such as \"message.class == 'invoice'\"")
         private String expression;
 
         @Override
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -14,7 +14,7 @@
             new Sender.MessageClass(Sender.Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
             new Sender.MessageClass(Sender.Effect.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
             new Sender.MessageClass(Sender.Effect.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
-    static final String[] CLASS_NAMES = {"status-update", "job-order", "rent-payment"};
+    public static final List<String> CLASS_NAMES = List.of("repeatable", "keyed", "once");
 
     /** Makes a dispatcher's process; the store is what outlasts it. */
     interface Maker {
--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/emulator/Tally.java
@@ -188,7 +188,7 @@
         all.put("endpoint_max_over_mean", unevenness());
         for (int i = 0; i < 3; i++) {
             for (double p : new double[] {50, 99, 99.9}) {
-                all.put(Policies.CLASS_NAMES[i].replace('-', '_') + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms", latency[i].getValueAtPercentile(p) / 1_000.0);
+                all.put(Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms", latency[i].getValueAtPercentile(p) / 1_000.0);
             }
         }
         return all;
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/fleet/rig/Outside.java
@@ -23,7 +23,7 @@
 final class Outside {
     private static final long WATCH_NS = 1_000 * Clock.MS, PATIENCE_NS = 5_000 * Clock.MS;
     private static final String SETTINGS = """
-            {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["bank"],"localities":["z"],"weightKind":"nominal",
+            {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
              "limits":{"maxAttempts":12,"maxRetryAfterNs":3000000000,"mayCancel":true,"mostHeld":400,
                        "connIdleNs":15000000000,"connectTimeoutNs":1500000000},
@@ -72,7 +72,7 @@
     }
 
     private static String host(String id, String at, int destination) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":" + destination
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":" + destination
                 + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
     }
 
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/lab/Run.java
@@ -1,5 +1,6 @@
 package elderseam.lab;
 
+import elderseam.emulator.Policies;
 import elderseam.core.Json;
 import elderseam.emulator.Checkers;
 import elderseam.emulator.Plan;
@@ -54,7 +55,7 @@
             for (int i = 0; i < at.length; i++) {
                 at[i] = tally.latency(c).getValueAtPercentile(PERCENTILES[i]) / 1_000.0;
             }
-            latencies.put(List.of("status-update", "job-order", "rent-payment").get(c), at);
+            latencies.put(Policies.CLASS_NAMES.get(c), at);
         }
         return new Run(policy, seed, figures, broken, checkers.words(), cut(tally.series(), seconds), cut(tally.refusals(), seconds), cut(tally.callsASecond(), seconds),
                 cut(tally.failedASecond(), seconds), open, latencies);
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -1,13 +1,16 @@
 package elderseam.platform;
 
 import elderseam.core.Json;
+import elderseam.core.SettingsCheck;
 import elderseam.core.SettingsMap;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
  *  SIGHUP; {@code control}, the second address, may be null. Where both name discovery the file counts, since it may have been replaced. */
@@ -23,6 +26,11 @@
         address(discovery);   // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
         flatten("", json.at("settings"), paths);
+        List<String> faults = SettingsCheck.faults(new SettingsMap(paths));
+        if (!faults.isEmpty()) {
+            throw new IOException(faults.stream().map(f -> told(variables, "RELAY_CONFIG") + ": settings." + f).collect(Collectors.joining("\n")));
+        }
+        paths.put("discovery", "ask");   // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
         long seed = Long.parseUnsignedLong(json.at("seed").text("1"), 16);
         Json told = json.at("limits");
         Limits limits = new Limits((long) (told.at("disk_mb").real(3) * 1_000_000),
--- a/src/main/java/elderseam/rules/Sample.java
+++ b/src/main/java/elderseam/rules/Sample.java
@@ -40,7 +40,7 @@
     static Sample of(String first, List<String> headerLines, String body, List<String> faults) {
         String[] words = first.strip().split(" +");
         if (words.length < 2 || !words[0].matches("[A-Z]+") || !words[1].startsWith("/")) {
-            faults.add("'" + first + "' is no first line of a request, allowed: such as POST /rent-payment");
+            faults.add("'" + first + "' is no first line of a request, allowed: such as POST /invoice");
             return new Sample("POST", "/", Map.of(), new byte[0]);
         }
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
--- a/src/main/java/elderseam/settings/Keys.java
+++ b/src/main/java/elderseam/settings/Keys.java
@@ -35,7 +35,7 @@
             "on|off", "on", true);
 
     public static final Key<List<String>> RULES_FILES = Key.words("rules", "files", "paths apart by spaces", "[^\\x00-\\x20,]{1,4096}", true);
-    public static final Key<String> RULES_ZONE = new Key<>("rules", "zone", "a time zone such as Africa/Windhoek", "UTC", true,
+    public static final Key<String> RULES_ZONE = new Key<>("rules", "zone", "a time zone such as Africa/Lagos", "UTC", true,
             text -> java.time.ZoneId.getAvailableZoneIds().contains(text) ? text : null);
     public static final Key<Long> RULES_BODY_BYTES = Key.whole("rules", "body_bytes", "bytes", 1, 262_144, 65_536, true);
     public static final Key<Long> RULES_BODY_DEPTH = Key.whole("rules", "body_depth", "levels", 1, 200, 16, true);
--- a/src/main/java/elderseam/wiring/Training.java
+++ b/src/main/java/elderseam/wiring/Training.java
@@ -28,7 +28,7 @@
     private static final int MESSAGES = 120;
     private static final long PATIENCE_NS = 10_000 * Clock.MS;
     private static final String SETTINGS = """
-            {"discovery":"ask","replicasOfMe":2,"flavors":["bank"],"localities":["z"],"weightKind":"nominal",
+            {"discovery":"ask","replicasOfMe":2,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
              "limits":{"maxAttempts":12,"maxRetryAfterNs":3000000000,"mayCancel":true,"mostHeld":400,
                        "connIdleNs":15000000000,"connectTimeoutNs":1500000000},
@@ -96,7 +96,7 @@
     }
 
     private static String server(String address) {
-        return "{\"id\":\"s1\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":1,\"state\":\"SERVING\","
+        return "{\"id\":\"s1\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":1,\"state\":\"SERVING\","
                 + "\"weight\":100.0,\"started_ms\":0}";
     }
 
