--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -148,4 +148,22 @@
             }
         }
     }
+
+    /** Where no more may be open, one that carries a request stays, and the new request has not left; an idle one makes room. */
+    @Test
+    void noRequestIsEndedToMakeRoom() throws Exception {
+        try (ServerSocket one = new ServerSocket(0, 1, HERE); ServerSocket other = new ServerSocket(0, 1, HERE)) {
+            io.run(() -> connections.most(1));
+            CompletableFuture<Reply> first = send(one.getLocalPort(), 10, 5_000);
+            Socket carrying = one.accept();
+            head(carrying.getInputStream());
+            carrying.getInputStream().readNBytes(10);
+            check(Progress.NOT_CONNECTED, Status.BROKEN, send(other.getLocalPort(), 10, 5_000));
+            carrying.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+            assertEquals(200, first.get(20, TimeUnit.SECONDS).code());
+            send(other.getLocalPort(), 10, 5_000);
+            head(other.accept().getInputStream());
+            assertEquals(-1, carrying.getInputStream().read());
+        }
+    }
 }
