--- a/src/test/java/elderseam/scenario/EndingsTest.java
+++ b/src/test/java/elderseam/scenario/EndingsTest.java
@@ -13,6 +13,7 @@
 /** SIGTERM and SIGKILL at each step of a request: what is owed then is kept, and nothing once-only goes twice (docs/endings.md). */
 class EndingsTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
+    private static final String OUT = "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
     private static final String HALF = "POST /rent-payment HTTP/1.1\\r\\nHost: api.internal\\r\\nX-Org: erongo-lettings\\r\\n"
             + "X-Addressing: dest=1\\r\\nX-Remaining: 20000m\\r\\nX-Txn: pay\\r\\nContent-Length: 4\\r\\n\\r\\nha";
     private static final String WAITS = """
@@ -30,7 +31,7 @@
     Path folder;
 
     private void plays(String script) throws Exception {
-        play(folder, script.replace("{to}", TO).replace("{half}", HALF));
+        play(folder, script.replace("{out}", OUT).replace("{to}", TO).replace("{half}", HALF));
     }
 
     @Test
@@ -41,9 +42,7 @@
                 c2 expect 200
                 relay close kill
                 relay wait start
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect X-Txn: pay
+                {out}
                 h1 send 200
                 operator wait INFO -> rent-payment.success=1
                 c send POST /rent-payment; {to} X-Txn: pay
@@ -80,9 +79,7 @@
                 relay close kill
                 c wait closed
                 relay wait start
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect X-Txn: pay
+                {out}
                 h1 send 200
                 c send POST /rent-payment; {to} X-Txn: next
                 c expect 202
@@ -190,9 +187,7 @@
     @Test
     void anAnswerUnreadAtAKillEndsAOnceOnlyMessage() throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect pay
+                {out}
                 relay pause
                 h1 send 200
                 relay close kill
@@ -208,9 +203,7 @@
     @Test
     void anAnswerUnreadAtATermCounts() throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect pay
+                {out}
                 relay pause
                 h1 send 200
                 relay close term
@@ -228,9 +221,7 @@
     void anEndThatIsNotReportedIsReportedAfterADrain() throws Exception {
         plays("""
                 platform deaf 1000000
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect pay
+                {out}
                 h1 send 500
                 relay close term
                 relay wait exit 0
@@ -244,9 +235,7 @@
     @Test
     void aSecondTermChangesNothing() throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect pay
+                {out}
                 relay close term
                 relay wait drain
                 relay close term
@@ -280,9 +269,7 @@
     @Test
     void whoConnectedBeforeThePortClosedIsAnswered() throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect pay
+                {out}
                 relay close term
                 relay wait drain
                 relay pause
--- a/src/test/java/elderseam/scenario/UpstreamEndsTest.java
+++ b/src/test/java/elderseam/scenario/UpstreamEndsTest.java
@@ -19,12 +19,13 @@
 /** How connections to upstream hosts end, and what that says of the request on them, by PROTOCOL. SpoiltTest has answers that do not fit. */
 class UpstreamEndsTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
+    private static final String OUT = "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
 
     @TempDir
     Path folder;
 
     private void plays(String script) throws Exception {
-        play(folder, script.replace("{to}", TO));
+        play(folder, script.replace("{out}", OUT).replace("{to}", TO));
     }
 
     /** Part of an answer, and then an end, in order or by a reset: it may have run. Once only it ends, repeatable it goes again. */
@@ -57,9 +58,7 @@
     @ValueSource(strings = {"end", "close"})
     void aDeliveryStandsThoughItsBodyBreaksOff(String end) throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect X-Txn: pay
+                {out}
                 h1 raw HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nshort
                 h1 {end}
                 operator wait INFO -> rent-payment.success=1
@@ -70,9 +69,7 @@
     @Test
     void aResetLongAfterConcernsItsOwnRequestAlone() throws Exception {
         plays("""
-                c send POST /rent-payment; {to} X-Txn: pay
-                c expect 202
-                h1 expect X-Txn: pay
+                {out}
                 c send POST /status-update; X-Org: erongo-lettings; X-Addressing: dest=2; X-Remaining: 9000m; X-Txn: a
                 c expect 202
                 h2 expect X-Txn: a
