A half-read head on a kept connection is no room for a new one

Seen by rereading the change: since a head that has begun counts as silent, a kept connection idle for a second or more with half a head read came first where room had to be made (Downstreams.rank), and its request was dropped. ClosingTest.aHalfReadHeadDoesNotMakeRoom fails without the mend. It ranks last now, behind all that rest, and where it has to go all the same it is answered 503.

--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/Downstreams.java
@@ -163,8 +163,10 @@
 
         /** How readily it is given up for a new one; 4: not at all. */
         private int rank(long now) {
-            boolean silent = state == State.READING || state == State.IDLE && heads.begun(), idle = state == State.IDLE;
-            return state == State.ENDING ? 5 : silent && now - since > SILENT_NS ? 0 : idle && now - since > KEPT_SHORT_NS ? 1 : idle ? 2 : silent ? 3 : 4;
+            if (state == State.IDLE) {   // with a head begun its request is under way: Undertow bounds the time for it
+                return heads.begun() ? 3 : now - since > KEPT_SHORT_NS ? 1 : 2;
+            }
+            return state == State.READING ? now - since > SILENT_NS ? 0 : 3 : 4;
         }
     }
 
@@ -248,7 +250,7 @@
         if (given.rank(now) > 3) {
             return false;
         }
-        if (given.first) {   // its request may be under way
+        if (given.first || given.heads.begun()) {   // its request may be under way
             refuse(given, 503);
         } else {
             end(given);
--- a/src/test/java/elderseam/http/ClosingTest.java
+++ b/src/test/java/elderseam/http/ClosingTest.java
@@ -200,6 +200,19 @@
         }
     }
 
+    /** The oldest of those that stand idle has half a head read: another makes room. */
+    @Test
+    void aHalfReadHeadDoesNotMakeRoom() throws Exception {
+        Socket half = resting(), idle = resting();
+        resting();
+        send(half, GET.substring(0, 20));
+        onIo(() -> { });   // read by then
+        assertTrue(answer(client(GET)).startsWith("HTTP/1.1 200"));
+        assertEquals("", rest(idle));
+        send(half, GET.substring(20));
+        assertTrue(answer(half).startsWith("HTTP/1.1 200"));
+    }
+
     /** With the bound reached by connections that are all too new to be called silent, the oldest is told to come again. */
     @Test
     void whoMakesRoomBeforeItsFirstRequestIsAnswered() throws Exception {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -567,7 +567,7 @@
                 StringBuilder entries = new StringBuilder();
                 since.forEach(c -> entries.append(entries.isEmpty() ? "" : ",").append(entry(c.split(" ")[0], c.split(" ")[1])));
                 String list = "{\"version\":" + heard.version + ",\"full\":false,\"servers\":[" + entries + "]}";
-                link.write(Wire.answer(200, "", indented ? list.replaceAll("([{\\[]|,(?=[\"{]))", "$1\n\t ").replace("\":", "\" : ").replaceAll("([}\\]])", "\r\n  $1") : list));
+                link.write(Wire.answer(200, "", indented ? indent(list) : list));
                 answered = System.nanoTime();
             } catch (IOException | InterruptedException e) {
                 // the program has gone
@@ -577,6 +577,10 @@
         t.start();
     }
 
+    private static String indent(String list) {
+        return list.replaceAll("([{\\[]|,(?=[\"{]))", "$1\n\t ").replace("\":", "\" : ").replaceAll("([}\\]])", "\r\n  $1");
+    }
+
     private String entry(String name, String state) {
         return "{\"id\":\"" + name + "\",\"addr\":\"" + Wire.address(places.getOrDefault(name, hosts.get(name).server)) + "\",\"zone\":\"z\","
                 + "\"kind\":\"bank\",\"cell\":" + (name.charAt(1) % 2 == 1 ? 1 : 2) + ",\"state\":\"" + state
