--- a/src/main/java/elderseam/core/SettingsCheck.java
+++ b/src/main/java/elderseam/core/SettingsCheck.java
@@ -31,7 +31,7 @@
         check.within("limits.mostHeld", false, 1, MOST, "1 or more");
         check.within("limits.maxAttempts", false, 1, MOST, "1 or more");
         check.within("replicasOfMe", false, 1, Integer.MAX_VALUE, "1 or more");
-        check.within("limits.connIdleNs", true, 1, MOST, "1 or more, in nanoseconds");
+        check.within("limits.connIdleNs", false, 0, MOST, "0 or more, in nanoseconds");   // none: no connection is kept
         check.within("limits.connectTimeoutNs", true, 1, MOST, "1 or more, in nanoseconds");
         for (String time : List.of("limits.maxRetryAfterNs", "safety.drainGraceNs", "safety.coldNs", "safety.fallNs", "safety.keyQuietNs")) {
             check.within(time, false, 0, MOST, "0 or more, in nanoseconds");
--- a/src/test/java/elderseam/scenario/OtherSettingsTest.java
+++ b/src/test/java/elderseam/scenario/OtherSettingsTest.java
@@ -157,6 +157,16 @@
         }
     }
 
+    /** A deployment that tells no idle time keeps no connections, and is served. */
+    @Test
+    void withoutAnIdleTimeEachCallHasAConnection() throws Exception {
+        try (Scenario s = new Scenario(folder)) {
+            s.settings(other().replaceFirst("\"connIdleNs\":\\d+,?", ""));
+            s.start();
+            s.run("c send POST /zig; {to} X-Txn: a\nc expect 202\nh1 expect X-Txn: a\n".replace("{to}", TO));
+        }
+    }
+
     /** Nothing of one customer stands in the program or its deploy files. */
     @Test
     void noCustomersNamesStandInTheProgram() throws Exception {
