--- /dev/null
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -0,0 +1,107 @@
+package elderseam.compat;
+
+import elderseam.core.Clock;
+import elderseam.core.Handover;
+import elderseam.core.UpstreamRequest.End;
+import elderseam.core.UpstreamRequest.Progress;
+import elderseam.core.UpstreamRequest.Status;
+import elderseam.emulator.MemoryStore;
+import elderseam.upgrade.Frame;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
+public final class OlderProcess {
+    public static final String LEARNED = "learned/file.hex";
+    static final String JOURNAL = "handover/journal.hex", TO_NEWER = "handover/to-newer.hex", TO_OLDER = "handover/to-older.hex";
+    /** When it began, and when it passed its work on. */
+    static final long BEGAN_NS = 5_000_000 * Clock.MS, PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MS;
+    /** Destination 1: plain; 2: its breaker opens; 3: routes apart, one in a told wait; 4: back after a drain, so cold. */
+    private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":["
+            + host("a1", "plain", 1, "SERVING") + "," + host("a2", "plain", 1, "SERVING") + "," + host("b1", "plain", 2, "SERVING") + ","
+            + host("c1", "routed", 3, "SERVING") + "," + host("c2", "routed", 3, "SERVING") + "," + host("d1", "plain", 4, "%s") + "]}";
+
+    private final CoreProcess process = new CoreProcess(new MemoryStore(), new ManualClock(BEGAN_NS));
+    private int number;
+
+    private OlderProcess() throws IOException {
+        process.relay.handover().remember();
+        process.list(LIST.formatted("DRAINING"));
+        for (int i = 0; i < 60; i++) {
+            take(1 + i % 3, i % 2);
+            if (i == 30) {
+                process.list(LIST.formatted("SERVING"));
+                take(4, 1);
+            }
+            process.pass(20 * Clock.MS + i * 100_000);
+            answerAll(CoreProcess.DELIVERED);
+            process.pass(150 * Clock.MS);
+        }
+        for (int i = 0; i < 6; i++) {
+            take(2, 0);
+            answerAll(End.unanswered(Progress.WRITTEN, Status.BROKEN));
+        }
+        take(3, 0);
+        answerAll(new End(Progress.ANSWERED, Status.FULL, 9_000 * Clock.MS, 0, 0));
+        take(3, 1);
+        answerAll(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0.25, 30));
+        process.relay.detach("a2", true);
+        process.take("lead", 0, 0, 1, "orders:7");
+        process.take("copy", 0, 0, 1, "orders:7");
+        process.take("late", 1, 1, 4, "");
+        process.take("lost", 0, 1, 1, "");
+        process.pass(PASSED_ON_NS - process.clock.now());
+    }
+
+    private static String host(String id, String kind, long destination, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + id + ".example:80\",\"zone\":\"south\",\"kind\":\"" + kind + "\",\"cell\":"
+                + destination + ",\"state\":\"" + state + "\",\"weight\":" + 10 * (destination + 1) + "}";
+    }
+
+    private void take(long destination, int tenant) {
+        process.take("m" + number++, 1, tenant, destination, "");
+    }
+
+    private void answerAll(End end) {
+        List.copyOf(process.attempts.keySet()).forEach(id -> process.ends(id, end));
+    }
+
+    /** What it sends once it is asked, to a newer process that has it give up the call of "late". */
+    private List<Frame> passesOn() {
+        List<Frame> sent = new ArrayList<>();
+        Handover.Estate estate = process.relay.handover().passOn(p -> sent.add(new Frame.Ended(p)));
+        sent.add(new Frame.Give(process.discovery.list(), estate, true));
+        process.ends("lead", CoreProcess.DELIVERED);
+        process.relay.handover().abandon("late", 0);
+        process.attempts.get("late").answeredLate(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
+        return sent;
+    }
+
+    /** A frame as the link carries it, after its length. */
+    static byte[] sent(Frame frame) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            frame.to(new DataOutputStream(bytes));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return ByteBuffer.allocate(4 + bytes.size()).putInt(bytes.size()).put(bytes.toByteArray()).array();
+    }
+
+    /** Its journal when it passed its work on, the file of what it had learned, and what travels both ways. */
+    public static void recordIfWanted() throws IOException {
+        if (!Recorded.wanted(LEARNED)) {
+            return;
+        }
+        OlderProcess older = new OlderProcess();
+        Recorded.assertBytes(JOURNAL, CoreProcess.bytes(older.process.store));
+        Recorded.assertBytes(LEARNED, CoreProcess.bytes(older.process.store.aside("learned")));
+        Recorded.assertRecords(TO_NEWER, older.passesOn().stream().map(OlderProcess::sent).toList());
+        Recorded.assertRecords(TO_OLDER, List.of(sent(new Frame.Take()), sent(new Frame.Owned()), sent(new Frame.Abandon("late", 0))));
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -0,0 +1,181 @@
+package elderseam.core;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.compat.CoreProcess;
+import elderseam.compat.ManualClock;
+import elderseam.compat.OlderProcess;
+import elderseam.compat.Recorded;
+import elderseam.emulator.MemoryStore;
+import elderseam.upgrade.Owner;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The journal and the file of what was learned, as an earlier build left them: read, and written again byte for byte. */
+class StoredFormatTest {
+    private static final String RECORDS = "journal/records.hex", COMPACTED = "journal/compacted.hex",
+            AFTER_RESTART = "learned/after-restart.hex", VALUES = "learned/values.hex";
+    private static final long S = 1_000 * Clock.MS, CAP = 1_000_000;
+    private static final byte[] SCHEME = "orders = request.headers['x-order']".getBytes(StandardCharsets.UTF_8);
+    /** Layout 1, two classes, two kinds, two tenants. */
+    private static final int SHAPE = 0x01020202;
+
+    private final ManualClock clock = new ManualClock(7_000 * S);
+
+    /** The records of a journal, a line of the resource each. */
+    private static List<byte[]> split(byte[] journal) {
+        List<byte[]> records = new ArrayList<>();
+        for (int at = 0; at < journal.length; at += records.get(records.size() - 1).length) {
+            int length = JournalRecords.HEAD + java.nio.ByteBuffer.wrap(journal).getInt(at);
+            records.add(java.util.Arrays.copyOfRange(journal, at, at + length));
+        }
+        return records;
+    }
+
+    private Stream.Message message(String id, int number, String same) {
+        return new Stream.Message(id, (byte) number, number + 1, number + 2, number + 300L, clock.now() + (number + 10) * S,
+                clock.now() + (number + 20) * S, number % 2 == 0, number % 2 == 1, "key " + id, ("body " + id).getBytes(StandardCharsets.UTF_8), same);
+    }
+
+    /** Every type of record, and every kind of end. */
+    private void write(Journal journal) {
+        assertTrue(journal.scheme("orders", SCHEME));
+        Stream.Message keyed = message("keyed", 1, "orders:7");
+        assertTrue(journal.taken(keyed) && journal.sent("keyed"));
+        clock.pass(S);
+        journal.result("keyed", true);
+        assertTrue(journal.sent("keyed") && journal.joined(message("copy", 2, "orders:7")));
+        Stream.Message[] more = new Stream.Message[5];
+        for (int i = 0; i < more.length; i++) {
+            more[i] = message("m" + i, 3 + i, "");
+            assertTrue(journal.taken(more[i]) && journal.sent("m" + i));
+            journal.result("m" + i, false);
+        }
+        journal.ended(more[0], Answer.DELIVERED, true);
+        journal.ended(more[1], Answer.refused(1_234), true);
+        journal.ended(more[2], Answer.FAILED, true);
+        journal.told("m2");
+        journal.ended(more[3], Answer.OVER, true);
+        assertTrue(journal.detach("a1", true) && journal.detach("b1", true) && journal.detach("b1", false));
+    }
+
+    /** All that it knows. Names of constants are not of the format, so their numbers stand here. */
+    private List<String> known(Journal journal) {
+        List<String> known = new ArrayList<>();
+        journal.schemes().forEach((name, text) -> known.add("scheme " + name + " " + new String(text, StandardCharsets.UTF_8)));
+        journal.detached().forEach(host -> known.add("detached " + host));
+        journal.unfinished(Set.of()).forEach(s -> known.add("unfinished " + text(s.message) + " attempts " + s.attempts + " ran " + s.mayHaveRun
+                + " at " + clock.toWall(s.keyUntil)));
+        journal.joined().forEach(m -> known.add("joined " + text(m)));
+        journal.owed().forEach((m, a) -> known.add("owed " + m.id() + " " + m.front() + " " + clock.toWall(m.rememberUntil())));
+        for (int i = 0; i < 5; i++) {
+            Answer a = journal.answer("m" + i);
+            known.add("answer m" + i + " " + (a == null ? "none" : a.kind().ordinal() + " " + a.againNs()));
+        }
+        return known;
+    }
+
+    private String text(Stream.Message m) {
+        return String.join(" ", m.id(), "" + m.front(), "" + m.cls(), "" + m.tenant(), "" + m.destination(), "" + clock.toWall(m.deadline()),
+                "" + clock.toWall(m.rememberUntil()), "" + m.again(), "" + m.heedsWindow(), m.key(), new String(m.body(), StandardCharsets.UTF_8), m.same());
+    }
+
+    private Journal read(String name) throws IOException {
+        return new Journal(CoreProcess.store(Recorded.bytes(name)), CAP, clock);
+    }
+
+    private static void compact(Journal journal) {
+        journal.letGo();
+        journal.resume();
+    }
+
+    @Test
+    void theJournalIsWrittenAsBefore() throws IOException {
+        MemoryStore store = new MemoryStore();
+        Journal journal = new Journal(store, CAP, clock);
+        write(journal);
+        Recorded.assertRecords(RECORDS, split(CoreProcess.bytes(store)));
+        compact(journal);
+        Recorded.assertRecords(COMPACTED, split(CoreProcess.bytes(store)));
+    }
+
+    @Test
+    void theJournalIsReadAsBefore() throws IOException {
+        write(new Journal(new MemoryStore(), CAP, clock));   // moves the clock
+        Set<Byte> types = new TreeSet<>();
+        for (String name : List.of(RECORDS, COMPACTED)) {
+            Recorded.records(name).forEach(r -> types.add(r[JournalRecords.HEAD]));
+            Recorded.assertLines("journal/known.txt", known(read(name)));
+            MemoryStore store = CoreProcess.store(Recorded.bytes(name));
+            compact(new Journal(store, CAP, clock));
+            Recorded.assertRecords(COMPACTED, split(CoreProcess.bytes(store)));
+        }
+        assertEquals("[1, 2, 3, 4, 5, 6, 7, 8, 9, 10]", types.toString());
+    }
+
+    @Test
+    void theFilesHaveTheirNames(@TempDir Path folder) throws IOException {
+        new Owner(folder).take();
+        Journal journal = new Journal(folder, CAP, clock);
+        new Learned(journal.aside("learned"), SHAPE).keep(new byte[1]);
+        journal.close();
+        try (java.util.stream.Stream<Path> files = Files.list(folder)) {
+            assertEquals("[journal, learned, owner]", files.map(f -> f.getFileName().toString()).sorted().toList().toString());
+        }
+    }
+
+    /** Values of every sort, by themselves. */
+    @Test
+    void valuesAreWrittenAndReadAsBefore() throws IOException {
+        LedgerBytes.Writer out = new LedgerBytes.Writer(clock);
+        out.whole(-7);
+        out.real(0.1);
+        out.time(clock.now() + 5);
+        out.time(0);
+        out.time(Long.MIN_VALUE / 2);
+        out.flag(true);
+        out.text("Österreich");
+        Recorded.assertBytes(VALUES, out.bytes());
+        clock.pass(3 * S);
+        LedgerBytes.Reader in = new LedgerBytes.Reader(Recorded.bytes(VALUES), clock, true);
+        assertEquals(3 * S, in.agoNs);
+        assertEquals(-7, in.whole(0));
+        assertEquals(0.1, in.real(0));
+        assertEquals(clock.now() - 3 * S + 5, in.time(0));
+        assertEquals(0, in.time(1));
+        assertEquals(Long.MIN_VALUE / 2, in.time(1));
+        assertTrue(in.flag(false));
+        assertEquals("Österreich", in.text(""));
+    }
+
+    /** The whole file: its head, whose settings it belongs to, and what a process that begins anew makes of it. */
+    @Test
+    void whatWasLearnedOutlastsAnUpgradeOfTheProgram() throws IOException {
+        OlderProcess.recordIfWanted();
+        byte[] file = Recorded.bytes(OlderProcess.LEARNED);
+        byte[] kept = new Learned(CoreProcess.store(file), SHAPE).kept();
+        assertNull(new Learned(CoreProcess.store(file), SHAPE + 1).kept());
+        MemoryStore again = new MemoryStore();
+        new Learned(again, SHAPE).keep(kept);
+        assertArrayEquals(file, CoreProcess.bytes(again));
+
+        MemoryStore store = new MemoryStore();
+        store.aside("learned").write(file, 0);
+        long keptAt = java.nio.ByteBuffer.wrap(kept).getLong();
+        CoreProcess next = new CoreProcess(store, new ManualClock(keptAt + 2 * S));
+        next.relay.handover().remember();
+        next.pass(S);   // it keeps what it has learned, which is that
+        Recorded.assertBytes(AFTER_RESTART, CoreProcess.bytes(store.aside("learned")));
+    }
+}
