Nets for what the fleet and gossip store and send: bytes recorded before any rename

Enum ordinals do the same for gossip packets.

The tests read each to the expected values and write the same bytes again; maps of several names have no fixed order and are compared as JSON. Clocks and random numbers are fixed. -Dcompat.record=true writes missing resources and replaces none. The record that OneOrder publishes is package-private now, for its test.

Measured: the 23 tests pass, once while recording and once reading. On a scratch copy the component ttlMs of LeaseTable.Command was renamed to termMs (with every use): then LeaseLogCompatTest.leaseCommands and RaftFolderCompatTest.aMemberStartsOnAnEarlierFolder failed, the other 21 passed.

--- a/src/main/java/elderseam/wiring/OneOrder.java
+++ b/src/main/java/elderseam/wiring/OneOrder.java
@@ -29,7 +29,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
-    private record Passed(String sealed, Map<String, String> answers) {}
+    record Passed(String sealed, Map<String, String> answers) {}
 
     private final String lease;
     private final Seal seal;
--- /dev/null
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -0,0 +1,72 @@
+package elderseam.fleet.config;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import elderseam.compat.RecordedBytes;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A member's folder of versions, and an operator's proposal, as an earlier build wrote and read them. */
+class VersionFolderCompatTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String RESOURCE = "version/folder";
+    private static final Version FIRST = Version.of(1, 0, "n1", "the first", Map.of("settings.ini", "[discovery]\nrest = ä:7\n")).effective(1_230);
+    private static final Version SECOND = Version.of(2, 1, "n2", "rules", Map.of("settings.ini", "[rules]\nfiles = r.rules /etc/own.rules\n",
+            "r.rules", "[table t]\nmatch = first\n")).effective(4_560);
+
+    @TempDir
+    Path folder;
+
+    private static Path recorded() throws IOException {
+        Path recorded = RecordedBytes.path(RESOURCE);
+        return RecordedBytes.missing(RESOURCE) ? write(recorded) : recorded;
+    }
+
+    private static Path write(Path at) throws IOException {
+        VersionFolder kept = new VersionFolder(at);
+        kept.keep(List.of(FIRST, SECOND));
+        kept.acting(FIRST);
+        kept.texts(FIRST);
+        kept.texts(SECOND);
+        return at;
+    }
+
+    @Test
+    void theRecordedFolderIsRead() throws IOException {
+        VersionFolder kept = new VersionFolder(RecordedBytes.copy(recorded(), folder));
+        assertEquals(FIRST, kept.acting());
+        assertEquals(List.of(FIRST, SECOND), kept.all());
+        kept.keep(List.of(SECOND));
+        assertEquals(List.of(FIRST, SECOND), kept.all(), "the one acted on stays");
+    }
+
+    @Test
+    void theSameFolderIsWritten() throws IOException {
+        Map<String, byte[]> recorded = RecordedBytes.files(recorded()), written = RecordedBytes.files(write(folder));
+        assertEquals(recorded.keySet(), written.keySet());
+        for (Map.Entry<String, byte[]> file : recorded.entrySet()) {
+            if (file.getKey().equals("2.json")) {   // texts of several names are written in no fixed order
+                assertEquals(JSON.readTree(file.getValue()), JSON.readTree(written.get(file.getKey())));
+            } else {
+                assertArrayEquals(file.getValue(), written.get(file.getKey()), file.getKey());
+            }
+        }
+    }
+
+    @Test
+    void aProposalIsRead() throws IOException {
+        Path file = RecordedBytes.path("version/proposal/proposal.ini");
+        if (RecordedBytes.missing("version/proposal")) {
+            RecordedBytes.bytes("version/proposal/proposal.ini", SECOND.texts().get(VersionContent.SETTINGS).getBytes("UTF-8"));
+            RecordedBytes.bytes("version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes("UTF-8"));
+        }
+        assertEquals(SECOND.texts(), VersionContent.read(file));
+        assertEquals(SECOND.hash(), Version.hash(VersionContent.read(file)));
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -0,0 +1,99 @@
+package elderseam.fleet.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.compat.RecordedBytes;
+import elderseam.fleet.config.Version;
+import elderseam.fleet.config.VersionTable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A member starts on the folder that a member of an earlier build left: a snapshot, and a log behind it. */
+class RaftFolderCompatTest {
+    private static final String RESOURCE = "lease/raft-folder";
+    private static final Map<String, String> TEXTS = Map.of("settings.ini", "[rules]\nzone = UTC\n");
+    private static final long SNAPSHOT_EVERY = 6, WAIT_S = 30;
+
+    @TempDir
+    Path folder;
+    private final BlockingQueue<String> published = new LinkedBlockingQueue<>();
+
+    private LeaseGroup start(Path at, String life) throws IOException {
+        InetSocketAddress address;
+        try (ServerSocket s = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", s.getLocalPort());
+        }
+        LeaseMachine.Watch watch = new LeaseMachine.Watch() {
+            @Override
+            public void published(String lease, String value) {
+                published.add(lease + "=" + value);
+            }
+        };
+        return LeaseGroup.start(new LeaseGroup.Opening("compat", "a", address, Map.of("a", address), at, 150, life, () -> 0, watch, SNAPSHOT_EVERY));
+    }
+
+    @Test
+    void aMemberStartsOnAnEarlierFolder() throws Exception {
+        if (RecordedBytes.missing(RESOURCE)) {
+            record(folder.resolve("recorded"));
+            published.clear();
+        }
+        LeaseGroup member = start(RecordedBytes.copy(RecordedBytes.path(RESOURCE), folder.resolve("copy")), "2");
+        try {
+            assertEquals("discovery=in the snapshot", published.poll(WAIT_S, TimeUnit.SECONDS));
+            assertEquals("certificate:localhost=in the log", published.poll(WAIT_S, TimeUnit.SECONDS));
+            Version latest = member.versions().latest();
+            assertEquals(new Version(1, 0, "a", "why", TEXTS, Version.hash(TEXTS), 1_000), latest);
+            assertEquals(List.of(latest), member.versions().all());
+            assertEquals(new VersionTable.Ended(1, latest.hash(), ""), member.versions().ended());
+            assertEquals(List.of("a"), member.members());
+            assertEquals("a/2", member.holder());
+        } finally {
+            member.close();
+        }
+    }
+
+    private void record(Path at) throws Exception {
+        try (LeaseGroup member = start(at, "1")) {
+            long token = acquire(member, "discovery");
+            member.publish("discovery", token, "in the snapshot").get(WAIT_S, TimeUnit.SECONDS);
+            member.versions(VersionTable.Command.confirm("a")).get(WAIT_S, TimeUnit.SECONDS);
+            member.versions(VersionTable.Command.propose("a", 0, "why", TEXTS, 1, 1_000, 1_000)).get(WAIT_S, TimeUnit.SECONDS);
+            member.versions(VersionTable.Command.checked("a", 1, "")).get(WAIT_S, TimeUnit.SECONDS);
+            while (RecordedBytes.files(at).keySet().stream().noneMatch(f -> f.matches(".*snapshot\\.\\d+_\\d+"))) {
+                acquire(member, "discovery");
+            }
+            token = acquire(member, "certificate:localhost");
+            member.publish("certificate:localhost", token, "in the log").get(WAIT_S, TimeUnit.SECONDS);
+            RecordedBytes.copy(at, RecordedBytes.path(RESOURCE));   // as a crash leaves it: the engine takes a snapshot when it stops
+        }
+        Path group = RecordedBytes.path(RESOURCE).resolve(LeaseGroup.group("compat", Map.of()).getGroupId().getUuid().toString());
+        Files.deleteIfExists(group.resolve("in_use.lock"));
+    }
+
+    private static long acquire(LeaseGroup member, String lease) throws Exception {
+        for (int i = 0; ; i++) {
+            try {
+                LeaseTable.Outcome outcome = member.acquire(lease, LeaseTable.MOST_TTL_MS).get(WAIT_S, TimeUnit.SECONDS);
+                assertTrue(outcome.granted());
+                return outcome.token();
+            } catch (ExecutionException noLeaderYet) {
+                if (i == 20) {
+                    throw noLeaderYet;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/share/PartitionCompatTest.java
@@ -0,0 +1,52 @@
+package elderseam.fleet.share;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import elderseam.compat.RecordedBytes;
+import elderseam.fleet.lease.TrialDuty;
+import elderseam.gossip.Claim;
+import elderseam.module.Sender;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Members agree on shares and turns without a word, so members of different builds have to come to the same ones. */
+class PartitionCompatTest {
+    private static final List<String> MEMBERS = List.of("n1", "n2", "n3", "n4", "n5"), HOSTS = List.of("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80",
+            "10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80");
+
+    @Test
+    void preferredEndpoints() throws IOException {
+        List<String> computed = new ArrayList<>();
+        for (int size = 1; size <= 5; size += 2) {
+            computed.add("sre " + size + " " + Subsets.all(Subsets.Way.SRE, MEMBERS, HOSTS, size));
+            computed.add("rendezvous " + size + " " + Subsets.all(Subsets.Way.RENDEZVOUS, MEMBERS, HOSTS, size));
+            computed.add("bounded " + size + " " + Subsets.all(Subsets.Way.BOUNDED, MEMBERS, HOSTS, size));
+        }
+        assertEquals(RecordedBytes.lines("share/subsets", computed), computed);
+    }
+
+    @Test
+    void turns() throws IOException {
+        List<String> computed = new ArrayList<>();
+        for (String task : List.of("7", "8", "-1", "discovery", "")) {
+            computed.add(task + " " + Turns.owner(task, MEMBERS) + " " + MEMBERS.stream().map(m -> Turns.place(task, MEMBERS, m)).toList());
+        }
+        assertEquals(RecordedBytes.lines("share/turns", computed), computed);
+    }
+
+    /** A breaker's state, and what others say of theirs, become a turn's by their names. */
+    @Test
+    void statesOfBreakersShareTheirNames() {
+        assertArrayEquals(names(TurnDuty.Standing.values()), names(Claim.State.values()));
+        assertArrayEquals(names(TurnDuty.Standing.values()), names(Sender.Standing.values()));
+        assertArrayEquals(names(TurnDuty.Standing.values()), names(TrialDuty.Standing.values()));
+    }
+
+    private static String[] names(Enum<?>[] values) {
+        return Arrays.stream(values).map(Enum::name).toArray(String[]::new);
+    }
+}
