--- a/src/main/java/elderseam/acme/Bundle.java
+++ b/src/main/java/elderseam/acme/Bundle.java
@@ -1,5 +1,6 @@
 package elderseam.acme;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
@@ -17,7 +18,7 @@
 import org.shredzone.acme4j.util.KeyPairUtils;
 
 /** A certificate as one member passes it on to the others: the private key and the chain, each PEM text. */
-record Bundle(String key, String chain) {
+record Bundle(@JsonProperty("key") String key, @JsonProperty("chain") String chain) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int DNS = 2;   // of GeneralName, RFC 5280
 
--- a/src/main/java/elderseam/fleet/config/Version.java
+++ b/src/main/java/elderseam/fleet/config/Version.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.config;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -12,7 +13,14 @@
  * {@code effectMs}: when it takes effect, in the table's time; 0 for one that is not committed. Its hash is SHA-256 of the names
  * and texts, in hex.
  */
-public record Version(long number, long parent, String author, String note, Map<String, String> texts, String hash, long effectMs) {
+public record Version(
+        @JsonProperty("number") long number,
+        @JsonProperty("parent") long parent,
+        @JsonProperty("author") String author,
+        @JsonProperty("note") String note,
+        @JsonProperty("texts") Map<String, String> texts,
+        @JsonProperty("hash") String hash,
+        @JsonProperty("effectMs") long effectMs) {
     /** What a fleet acts on before any version was agreed on: each member's own files. */
     public static final Version NONE = new Version(0, 0, "", "each member's own files", Map.of(), hash(Map.of()), 0);
 
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.config;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,14 +17,27 @@
  * later, which is no less than T, so that whoever has not heard of it by then is past its bound and acts on nothing it doubts.
  */
 public final class VersionTable {
-    public enum Op { PROPOSE, CHECKED, CONFIRM }
+    public enum Op {
+        @JsonProperty("PROPOSE") PROPOSE,
+        @JsonProperty("CHECKED") CHECKED,
+        @JsonProperty("CONFIRM") CONFIRM
+    }
 
     /**
      * One command. PROPOSE: {@code number} is the parent, {@code texts} the content. CHECKED: {@code number} the proposal, {@code fault}
      * empty where it passed. CONFIRM: what is committed? {@code members}: how many the group has; {@code boundMs}: T, of the proposal.
      */
-    public record Command(Op op, String member, long number, String note, Map<String, String> texts, String fault, int members, long boundMs, long leadMs,
-                          long atMs) {
+    public record Command(
+            @JsonProperty("op") Op op,
+            @JsonProperty("member") String member,
+            @JsonProperty("number") long number,
+            @JsonProperty("note") String note,
+            @JsonProperty("texts") Map<String, String> texts,
+            @JsonProperty("fault") String fault,
+            @JsonProperty("members") int members,
+            @JsonProperty("boundMs") long boundMs,
+            @JsonProperty("leadMs") long leadMs,
+            @JsonProperty("atMs") long atMs) {
         /** Checks the form; an IllegalArgumentException names the fault. */
         public Command {
             if (op == null || member == null || !member.matches("[A-Za-z0-9._-]{1,64}")) {
@@ -55,13 +69,19 @@
     }
 
     /** {@code word}: empty, or why it was refused; {@code latest}: the newest committed version, {@code nowMs} the table's time. */
-    public record Outcome(String word, long latest, long nowMs) {}
+    public record Outcome(@JsonProperty("word") String word, @JsonProperty("latest") long latest, @JsonProperty("nowMs") long nowMs) {}
 
     /** A proposal that is looked at, and what was found: by member, empty for nothing. */
-    public record Pending(Version version, int members, long boundMs, long leadMs, long fromMs, Map<String, String> found) {}
+    public record Pending(
+            @JsonProperty("version") Version version,
+            @JsonProperty("members") int members,
+            @JsonProperty("boundMs") long boundMs,
+            @JsonProperty("leadMs") long leadMs,
+            @JsonProperty("fromMs") long fromMs,
+            @JsonProperty("found") Map<String, String> found) {}
 
     /** What became of a proposal, for those who ask. */
-    public record Ended(long number, String hash, String word) {}
+    public record Ended(@JsonProperty("number") long number, @JsonProperty("hash") String hash, @JsonProperty("word") String word) {}
 
     /** The most characters of a version, as one entry of the log holds; of a note; versions that are kept. */
     public static final int MOST = 40_000, MOST_NOTE = 200, KEPT = 12;
@@ -176,7 +196,13 @@
     }
 
     /** All of it, for a snapshot. */
-    public record Image(List<Version> committed, Map<String, Long> confirmed, Pending pending, Ended ended, long nowMs, long last) {}
+    public record Image(
+            @JsonProperty("committed") List<Version> committed,
+            @JsonProperty("confirmed") Map<String, Long> confirmed,
+            @JsonProperty("pending") Pending pending,
+            @JsonProperty("ended") Ended ended,
+            @JsonProperty("nowMs") long nowMs,
+            @JsonProperty("last") long last) {}
 
     public Image image() {
         Pending p = pending == null ? null : new Pending(pending.version, pending.members, pending.boundMs, pending.leadMs, pending.fromMs,
--- a/src/main/java/elderseam/fleet/lease/LeaseCodec.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseCodec.java
@@ -8,7 +8,10 @@
 import java.io.UncheckedIOException;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 
-/** Commands and outcomes as they cross the engine: JSON by Jackson, decoded once into the table's typed values. */
+/**
+ * Commands and outcomes as they cross the engine: JSON by Jackson, decoded once into the table's typed values. The names in the
+ * JSON are those of the {@code @JsonProperty} annotations and never change, since earlier builds' logs and snapshots have them.
+ */
 final class LeaseCodec {
     private static final ObjectMapper JSON = new ObjectMapper();
 
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.lease;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,10 +16,22 @@
  */
 public final class LeaseTable {
     /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by all but acquire; {@code value} by publish. */
-    public enum Op { ACQUIRE, RENEW, RELEASE, PUBLISH }
+    public enum Op {
+        @JsonProperty("ACQUIRE") ACQUIRE,
+        @JsonProperty("RENEW") RENEW,
+        @JsonProperty("RELEASE") RELEASE,
+        @JsonProperty("PUBLISH") PUBLISH
+    }
 
     /** One command, as stored in the log: the leader's stamp {@code atMs} is set when the leader takes it in. */
-    public record Command(Op op, String name, String holder, long token, long ttlMs, long atMs, String value) {
+    public record Command(
+            @JsonProperty("op") Op op,
+            @JsonProperty("name") String name,
+            @JsonProperty("holder") String holder,
+            @JsonProperty("token") long token,
+            @JsonProperty("ttlMs") long ttlMs,
+            @JsonProperty("atMs") long atMs,
+            @JsonProperty("value") String value) {
         public Command {
             if (name.isEmpty() || holder.isEmpty()) {
                 throw new IllegalArgumentException("a lease command needs a name and a holder");
@@ -45,14 +58,19 @@
      * table's time. Otherwise {@code holder} is who has it and {@code againMs} how long until it may be free (0 where it
      * was the holder's own to release, or it was not held).
      */
-    public record Outcome(boolean granted, String holder, long token, long untilMs, long againMs) {
+    public record Outcome(
+            @JsonProperty("granted") boolean granted,
+            @JsonProperty("holder") String holder,
+            @JsonProperty("token") long token,
+            @JsonProperty("untilMs") long untilMs,
+            @JsonProperty("againMs") long againMs) {
         static Outcome refused(Lease held, long now) {
             return new Outcome(false, held.holder(), held.token(), held.untilMs(), Math.max(0, held.untilMs() - now));
         }
     }
 
     /** A name's lease: who has it, by which token, until when in the table's time. */
-    public record Lease(String holder, long token, long untilMs) {}
+    public record Lease(@JsonProperty("holder") String holder, @JsonProperty("token") long token, @JsonProperty("untilMs") long untilMs) {}
 
     /** A lease longer than a minute is a lease that outlives its holder's failure by too long to be of use. */
     public static final long MOST_TTL_MS = 60_000;
@@ -121,7 +139,11 @@
     }
 
     /** All of it, for a snapshot: every lease, every name's last token and last published value, and the time. */
-    public record Image(Map<String, Lease> leases, Map<String, Long> tokens, Map<String, String> published, long nowMs) {}
+    public record Image(
+            @JsonProperty("leases") Map<String, Lease> leases,
+            @JsonProperty("tokens") Map<String, Long> tokens,
+            @JsonProperty("published") Map<String, String> published,
+            @JsonProperty("nowMs") long nowMs) {}
 
     public Image image() {
         return new Image(Map.copyOf(leases), Map.copyOf(tokens), Map.copyOf(published), now);
--- a/src/main/java/elderseam/wiring/OneOrder.java
+++ b/src/main/java/elderseam/wiring/OneOrder.java
@@ -1,5 +1,6 @@
 package elderseam.wiring;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.acme.Certificates;
 import elderseam.acme.Seal;
@@ -29,7 +30,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
-    record Passed(String sealed, Map<String, String> answers) {}
+    record Passed(@JsonProperty("sealed") String sealed, @JsonProperty("answers") Map<String, String> answers) {}
 
     private final String lease;
     private final Seal seal;
