--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -3,6 +3,7 @@
 import elderseam.core.Clock;
 import elderseam.gossip.Claim;
 import elderseam.gossip.Rumour;
+import elderseam.gossip.Standing;
 import elderseam.gossip.Tempo;
 import elderseam.gossip.net.Opening;
 import elderseam.gossip.net.Post;
@@ -152,22 +153,41 @@
             return 0;
         }
 
+        /** A member's state as {@code gossip watch} prints it. */
+        static String word(Standing standing) {
+            return switch (standing) {
+                case ALIVE -> "ALIVE";
+                case SUSPECT -> "SUSPECT";
+                case DEAD -> "DEAD";
+                case LEFT -> "LEFT";
+            };
+        }
+
+        /** A reported breaker state as {@code gossip watch} prints it. */
+        static String word(Claim.State state) {
+            return switch (state) {
+                case CLOSED -> "CLOSED";
+                case HALF_OPEN -> "HALF_OPEN";
+                case OPEN -> "OPEN";
+            };
+        }
+
         private void tell(Seen seen) {
             PrintWriter out = spec.commandLine().getOut();
             seen.members.stream().sorted(Comparator.comparing(Rumour::member)).forEach(m -> {
                 if (json) {
                     out.printf("{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n", m.member(), m.address(),
-                            m.standing(), m.incarnation());
+                            word(m.standing()), m.incarnation());
                 } else {
-                    out.printf("%-20s %-24s %s%n", m.member(), m.address(), m.standing());
+                    out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.standing()));
                 }
             });
             seen.claims.stream().sorted(Comparator.comparing(Claim::reporter).thenComparingLong(Claim::destination)).forEach(c -> {
                 if (json) {
                     out.printf("{\"reporter\":\"%s\",\"destination\":%d,\"state\":\"%s\",\"calls\":%d,\"failures\":%d,\"wait_ms\":%d}%n", c.reporter(),
-                            c.destination(), c.state(), c.calls(), c.failures(), c.waitMs());
+                            c.destination(), word(c.state()), c.calls(), c.failures(), c.waitMs());
                 } else {
-                    out.printf("%-20s destination %-12d %-10s %d of %d calls failed%n", c.reporter(), c.destination(), c.state(), c.failures(),
+                    out.printf("%-20s destination %-12d %-10s %d of %d calls failed%n", c.reporter(), c.destination(), word(c.state()), c.failures(),
                             c.calls());
                 }
             });
--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -247,7 +247,7 @@
                         left.remove(i * endpoints / SAMPLES);
                         fails += Subsets.moved(now, Subsets.all(way, names("m", n), left, Math.min(size, left.size()))) / SAMPLES;
                     }
-                    out.printf(Locale.ROOT, "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n", way.name().toLowerCase(Locale.ROOT), n,
+                    out.printf(Locale.ROOT, "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n", way.wireName(), n,
                             Subsets.unevenness(now, hosts), 100 * joins, 100 * leaves, 100 * fails);
                 }
             }
--- a/src/main/java/elderseam/control/Operators.java
+++ b/src/main/java/elderseam/control/Operators.java
@@ -58,7 +58,7 @@
     }
 
     private String word() {
-        return life.state().name().toLowerCase(java.util.Locale.ROOT);
+        return life.state().wireName();
     }
 
     private Verdict detach(String host, boolean out) {
--- a/src/main/java/elderseam/core/Lifecycle.java
+++ b/src/main/java/elderseam/core/Lifecycle.java
@@ -6,7 +6,20 @@
  */
 public final class Lifecycle {
     /** STARTING until what an earlier process left is taken back; DRAINED once no client is connected; ENDING is for good. */
-    public enum State { STARTING, READY, DRAINING, DRAINED, ENDING }
+    public enum State {
+        STARTING("starting"), READY("ready"), DRAINING("draining"), DRAINED("drained"), ENDING("ending");
+
+        private final String wireName;
+
+        State(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The word that operators are answered on the control address. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     private boolean started, drains, empty, ending;
 
--- a/src/main/java/elderseam/emulator/Checkers.java
+++ b/src/main/java/elderseam/emulator/Checkers.java
@@ -4,6 +4,7 @@
 import elderseam.core.UpstreamRequest;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -13,7 +14,21 @@
  */
 public final class Checkers implements Watcher {
     /** What can be broken. */
-    public enum Rule { ANSWERED_TWICE, LOST, LATE, TWO_OUT, ABOVE_SLOTS, EFFECT_TWICE, WAIT_BROKEN, DRAIN_BROKEN }
+    public enum Rule {
+        ANSWERED_TWICE("answered_twice"), LOST("lost"), LATE("late"), TWO_OUT("two_out"), ABOVE_SLOTS("above_slots"),
+        EFFECT_TWICE("effect_twice"), WAIT_BROKEN("wait_broken"), DRAIN_BROKEN("drain_broken");
+
+        private final String wireName;
+
+        Rule(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The rule in reports and JSON, there after {@code broken_}; it outlives a rename of the constant. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     private static final long MS = 1_000_000, LATE_NS = 50 * MS, DRAIN_GRACE_NS = 2_000 * MS, WAIT_GRACE_NS = MS, KEY_WINDOW_NS = 6_000 * MS;
     private static final long AWAY_NS = 1_500 * MS;   // what a process owed while it was away it tells within this
@@ -38,7 +53,7 @@
     private void breaks(Rule rule, long now, String what) {
         broken.merge(rule, 1, Integer::sum);
         if (told++ < MOST_WORDS) {
-            words.append(String.format("%.3f s: %s: %s%n", now / 1e9, rule, what));
+            words.append(String.format("%.3f s: %s: %s%n", now / 1e9, rule.wireName().toUpperCase(Locale.ROOT), what));
         }
     }
 
--- a/src/main/java/elderseam/emulator/Plan.java
+++ b/src/main/java/elderseam/emulator/Plan.java
@@ -11,7 +11,26 @@
      */
     public record Fleet(int dispatchers, int slots, int held, int attempts, int connections, double hot) {}
 
-    public enum Limit { NONE, RATE, WINDOW }
+    /** An enumeration whose constants stand in scenario files and reports. */
+    public interface WireNamed {
+        /** The word in scenario files and reports; it outlives a rename of the constant. */
+        String wireName();
+    }
+
+    public enum Limit implements WireNamed {
+        NONE("none"), RATE("rate"), WINDOW("window");
+
+        private final String wireName;
+
+        Limit(String wireName) {
+            this.wireName = wireName;
+        }
+
+        @Override
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /**
      * Destinations of one kind. {@code perS}: calls a second that each takes of all; {@code told}: it says how long to stay away;
@@ -22,12 +41,39 @@
                        int queue, double serviceMs, double spread, double errors, double connectMs, int idleMs, boolean report, double reportNoise,
                        double coldShare, int coldMs, double fallMultiple, int fallMs, double load) {}
 
-    public enum Fault { FAIL, ERRORS, SHUT, HANG, SLOW, FLAP, SILENT, HALF_OPEN }
+    public enum Fault implements WireNamed {
+        FAIL("fail"), ERRORS("errors"), SHUT("shut"), HANG("hang"), SLOW("slow"), FLAP("flap"), SILENT("silent"),
+        HALF_OPEN("half_open");
+
+        private final String wireName;
+
+        Fault(String wireName) {
+            this.wireName = wireName;
+        }
+
+        @Override
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /** {@code part}: share of the kind's destinations that it meets; {@code factor}: how much slower. */
     public record Trouble(String name, String kind, double part, double at, double lasts, Fault fault, double factor) {}
 
-    public enum Arrivals { POISSON, BURSTY, CLUMPED, DIURNAL }
+    public enum Arrivals implements WireNamed {
+        POISSON("poisson"), BURSTY("bursty"), CLUMPED("clumped"), DIURNAL("diurnal");
+
+        private final String wireName;
+
+        Arrivals(String wireName) {
+            this.wireName = wireName;
+        }
+
+        @Override
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /**
      * {@code mix}: of status updates, job orders and rent payments; {@code clump}: messages in one; {@code burst}: how many times the
@@ -37,7 +83,20 @@
 
     public record Flood(String name, int tenant, double factor, double at, double lasts) {}
 
-    public enum How { KILL, TERM }
+    public enum How implements WireNamed {
+        KILL("kill"), TERM("term");
+
+        private final String wireName;
+
+        How(String wireName) {
+            this.wireName = wireName;
+        }
+
+        @Override
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /** A {@code part} of the dispatchers within so many seconds, one after the other; each is away for that long. */
     public record Restart(String name, double at, double within, double part, How how, double downMs) {}
--- a/src/main/java/elderseam/emulator/PlanFile.java
+++ b/src/main/java/elderseam/emulator/PlanFile.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 
 /** A scenario file to a {@link Plan}: whole or not at all, every fault told with its place and what is allowed. */
@@ -181,19 +180,19 @@
         return text.equals("on");
     }
 
-    private <E extends Enum<E>> E word(Section s, String key, Class<E> of, E absent) {
+    private <E extends Enum<E> & Plan.WireNamed> E word(Section s, String key, Class<E> of, E absent) {
         if (s == null) {
             return absent;
         }
         asked(s, key);
-        String text = s.text(key, absent.name().toLowerCase(Locale.ROOT));
+        String text = s.text(key, absent.wireName());
         for (E e : of.getEnumConstants()) {
-            if (e.name().toLowerCase(Locale.ROOT).equals(text)) {
+            if (e.wireName().equals(text)) {
                 return e;
             }
         }
         faults.add(s.place(s.value(key), key) + "'" + text + "' can't be used, allowed: "
-                + String.join(", ", java.util.Arrays.stream(of.getEnumConstants()).map(e -> e.name().toLowerCase(Locale.ROOT)).toList()));
+                + String.join(", ", java.util.Arrays.stream(of.getEnumConstants()).map(Plan.WireNamed::wireName).toList()));
         return absent;
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
@@ -11,7 +11,20 @@
  */
 public final class LeaseKeeper {
     /** What to ask now; {@code NONE}: nothing before {@code atNs}. */
-    public enum Ask { NONE, ACQUIRE, RENEW }
+    public enum Ask {
+        NONE("NONE"), ACQUIRE("ACQUIRE"), RENEW("RENEW");
+
+        private final String wireName;
+
+        Ask(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The {@code op} of a request in a history. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     public record Step(Ask ask, long token, long atNs) {}
 
--- a/src/main/java/elderseam/fleet/share/Subsets.java
+++ b/src/main/java/elderseam/fleet/share/Subsets.java
@@ -22,7 +22,20 @@
  * that have not had their part yet. The last one is used.
  */
 public final class Subsets {
-    public enum Way { SRE, RENDEZVOUS, BOUNDED }
+    public enum Way {
+        SRE("sre"), RENDEZVOUS("rendezvous"), BOUNDED("bounded");
+
+        private final String wireName;
+
+        Way(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The way in the table of {@code lab subsets}. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /** How much above an even part an endpoint may be taken: less evens more, and moves more when the fleet changes. */
     static final double SLACK = 1.05;
--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/Agent.java
@@ -63,7 +63,21 @@
     private final long[] dropped = new long[Drop.values().length];
 
     /** Why something was passed over. */
-    public enum Drop { STALE_CLAIM, FORGED_CLAIM, CLAIMS_OVER_RATE, STRANGER, AHEAD, CEILING }
+    public enum Drop {
+        STALE_CLAIM("stale claim"), FORGED_CLAIM("forged claim"), CLAIMS_OVER_RATE("claims over rate"), STRANGER("stranger"),
+        AHEAD("ahead"), CEILING("ceiling");
+
+        private final String wireName;
+
+        Drop(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The reason in the line of counts. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     public Agent(String self, String address, List<String> seeds, long incarnation, Tempo tempo, Ceiling ceiling, Trust trust,
                  long now, SplittableRandom random, BiConsumer<String, Standing> changed) {
--- a/src/main/java/elderseam/gossip/net/Post.java
+++ b/src/main/java/elderseam/gossip/net/Post.java
@@ -18,7 +18,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
@@ -229,10 +228,10 @@
         StringBuilder s = new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
         boolean any = false;
         for (Door.Drop d : Door.Drop.values()) {
-            any |= add(s, d.name(), door.dropped(d));
+            any |= add(s, d.wireName(), door.dropped(d));
         }
         for (Agent.Drop d : Agent.Drop.values()) {
-            any |= add(s, d.name(), agent.dropped(d));
+            any |= add(s, d.wireName(), agent.dropped(d));
         }
         any |= add(s, "reads put off", datagrams.rests());
         any |= add(s, "connections refused", exchanges.refused());
@@ -241,7 +240,7 @@
 
     private static boolean add(StringBuilder s, String what, long n) {
         if (n > 0) {
-            s.append(' ').append(what.toLowerCase(Locale.ROOT).replace('_', ' ')).append(' ').append(n).append(';');
+            s.append(' ').append(what).append(' ').append(n).append(';');
         }
         return n > 0;
     }
--- a/src/main/java/elderseam/gossip/trust/Door.java
+++ b/src/main/java/elderseam/gossip/trust/Door.java
@@ -34,7 +34,21 @@
     private static final double CHECKS = 50, ALL_CHECKS = 400, HELLOS = 2, ALL_HELLOS = 50;
 
     /** Why an envelope was dropped. */
-    public enum Drop { FORM, OVERSIZED, UNKNOWN, ADDRESS, KEY, TOKEN, REPLAYED, RATE, SEAL, BODY, HELLO }
+    public enum Drop {
+        FORM("form"), OVERSIZED("oversized"), UNKNOWN("unknown"), ADDRESS("address"), KEY("key"), TOKEN("token"),
+        REPLAYED("replayed"), RATE("rate"), SEAL("seal"), BODY("body"), HELLO("hello");
+
+        private final String wireName;
+
+        Drop(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** The reason in the line of counts. */
+        public String wireName() {
+            return wireName;
+        }
+    }
 
     /** A proved packet and who sent it; or who has said hello, so that what was sent there in vain can be sent again; or an
      *  envelope to send back; or nothing at all, for one that was dropped. */
--- a/src/main/java/elderseam/lab/Find.java
+++ b/src/main/java/elderseam/lab/Find.java
@@ -137,7 +137,7 @@
                 v.put("for", value(1 + random.nextDouble() * plan.seconds() / 3));
                 v.put("kind", plan.kinds().get(random.nextInt(plan.kinds().size())).name());
                 v.put("part", value(0.1 + 0.9 * random.nextDouble()));
-                v.put("fault", Plan.Fault.values()[random.nextInt(Plan.Fault.values().length)].name().toLowerCase(Locale.ROOT));
+                v.put("fault", Plan.Fault.values()[random.nextInt(Plan.Fault.values().length)].wireName());
                 v.put("factor", value(2 + 30 * random.nextDouble()));
             }
             case "flood" -> {
--- a/src/main/java/elderseam/lab/Report.java
+++ b/src/main/java/elderseam/lab/Report.java
@@ -83,9 +83,9 @@
 
     private static List<Chart.Band> bands(Plan p) {
         List<Chart.Band> all = new ArrayList<>();
-        p.troubles().forEach(t -> all.add(new Chart.Band(t.at(), t.at() + t.lasts(), t.kind() + " " + t.fault().name().toLowerCase(Locale.ROOT), "#f6c7c7")));
+        p.troubles().forEach(t -> all.add(new Chart.Band(t.at(), t.at() + t.lasts(), t.kind() + " " + t.fault().wireName(), "#f6c7c7")));
         p.floods().forEach(f -> all.add(new Chart.Band(f.at(), f.at() + f.lasts(), "flood", "#c7dcf6")));
-        p.restarts().forEach(r -> all.add(new Chart.Band(r.at(), r.at() + r.within() + r.downMs() / 1_000, r.how().name().toLowerCase(Locale.ROOT), "#e0e0e0")));
+        p.restarts().forEach(r -> all.add(new Chart.Band(r.at(), r.at() + r.within() + r.downMs() / 1_000, r.how().wireName(), "#e0e0e0")));
         return all;
     }
 
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/lab/Run.java
@@ -41,7 +41,7 @@
         Map<String, Double> figures = tally.figures();
         figures.put("felled", (double) checkers.felled());
         Map<String, Integer> broken = new TreeMap<>();
-        checkers.broken().forEach((rule, n) -> broken.put(rule.name().toLowerCase(Locale.ROOT), n));
+        checkers.broken().forEach((rule, n) -> broken.put(rule.wireName(), n));
         figures.put("broken", (double) broken.values().stream().mapToInt(n -> n).sum());
         Map<Long, byte[]> open = new TreeMap<>();
         lines.forEach((d, line) -> {
--- a/src/main/java/elderseam/rules/Sample.java
+++ b/src/main/java/elderseam/rules/Sample.java
@@ -139,7 +139,11 @@
 
     @Override
     public Breaker breaker(long destination) {
-        return Breaker.valueOf(state.getOrDefault("breaker", "closed").toUpperCase(Locale.ROOT));
+        return switch (state.getOrDefault("breaker", "closed")) {   // the words that state() lets pass
+            case "open" -> Breaker.OPEN;
+            case "half_open" -> Breaker.HALF_OPEN;
+            default -> Breaker.CLOSED;
+        };
     }
 
     @Override
--- a/src/main/java/elderseam/rules/lang/Type.java
+++ b/src/main/java/elderseam/rules/lang/Type.java
@@ -1,17 +1,23 @@
 package elderseam.rules.lang;
 
 import java.util.List;
-import java.util.Locale;
 
 /** Types, as the checker knows them. DYN is not known before evaluation, and goes with each. */
 public sealed interface Type {
     /** Types without parameters. */
     enum Plain implements Type {
-        BOOL, INT, UINT, DOUBLE, STRING, BYTES, NULL, TIMESTAMP, DURATION, DYN;
+        BOOL("bool"), INT("int"), UINT("uint"), DOUBLE("double"), STRING("string"), BYTES("bytes"), NULL("null"),
+        TIMESTAMP("timestamp"), DURATION("duration"), DYN("dyn");
+
+        private final String word;
+
+        Plain(String word) {
+            this.word = word;
+        }
 
         @Override
         public String toString() {
-            return name().toLowerCase(Locale.ROOT);
+            return word;
         }
     }
 
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -213,7 +213,7 @@
         @Override
         public void asked(String lease, LeaseKeeper.Ask ask, long token) {
             if (history != null) {
-                history.add("invoke", "op", ask.name(), "lease", lease, "token", token, "holder", group.holder());
+                history.add("invoke", "op", ask.wireName(), "lease", lease, "token", token, "holder", group.holder());
             }
         }
 
--- a/src/main/java/elderseam/wiring/OneTrial.java
+++ b/src/main/java/elderseam/wiring/OneTrial.java
@@ -46,7 +46,7 @@
         }
         String lease = LEASE + destination;
         Tenure held = fleet.tenure(lease);
-        TrialDuty.Turn turn = duty.look(clock.now(), TrialDuty.Standing.valueOf(breaker.standing().name()), held != null, fleet.another(lease));
+        TrialDuty.Turn turn = duty.look(clock.now(), standing(breaker.standing()), held != null, fleet.another(lease));
         if (turn.tells()) {
             fleet.publish(lease, held, "back");
         }
@@ -59,6 +59,14 @@
         }
     }
 
+    private static TrialDuty.Standing standing(Sender.Standing own) {
+        return switch (own) {
+            case CLOSED -> TrialDuty.Standing.CLOSED;
+            case HALF_OPEN -> TrialDuty.Standing.HALF_OPEN;
+            case OPEN -> TrialDuty.Standing.OPEN;
+        };
+    }
+
     /** The holder of that lease says that its destination is back. */
     void heard(String lease) {
         TrialDuty duty = lease.startsWith(LEASE) ? duties.get(Long.parseLong(lease.substring(LEASE.length()))) : null;
--- a/src/main/java/elderseam/wiring/ShareWiring.java
+++ b/src/main/java/elderseam/wiring/ShareWiring.java
@@ -116,16 +116,32 @@
     }
 
     private void turn(long destination, Sender.Breaker breaker) {
-        TurnDuty.Standing own = TurnDuty.Standing.valueOf(breaker.standing().name());
+        TurnDuty.Standing own = standing(breaker.standing());
         TurnDuty duty = own == TurnDuty.Standing.CLOSED ? duties.remove(destination)
                 : duties.computeIfAbsent(destination, d -> new TurnDuty(Long.toString(d), members.self(), IDLE_NS));
         if (duty == null || own == TurnDuty.Standing.CLOSED) {
             return;
         }
         List<TurnDuty.Other> others = members.claims(destination).stream().filter(c -> !c.reporter().equals(members.self()))
-                .map(c -> new TurnDuty.Other(c.reporter(), TurnDuty.Standing.valueOf(c.state().name()))).toList();
+                .map(c -> new TurnDuty.Other(c.reporter(), standing(c.state()))).toList();
         if (duty.defers(io.clock.now(), own, others)) {
             relay.defer(hosts.of(destination), DEFER_NS);
         }
     }
+
+    private static TurnDuty.Standing standing(Sender.Standing own) {
+        return switch (own) {
+            case CLOSED -> TurnDuty.Standing.CLOSED;
+            case HALF_OPEN -> TurnDuty.Standing.HALF_OPEN;
+            case OPEN -> TurnDuty.Standing.OPEN;
+        };
+    }
+
+    private static TurnDuty.Standing standing(Claim.State said) {
+        return switch (said) {
+            case CLOSED -> TurnDuty.Standing.CLOSED;
+            case HALF_OPEN -> TurnDuty.Standing.HALF_OPEN;
+            case OPEN -> TurnDuty.Standing.OPEN;
+        };
+    }
 }
--- /dev/null
+++ b/src/test/java/elderseam/cli/GossipWordsTest.java
@@ -0,0 +1,18 @@
+package elderseam.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import elderseam.gossip.Claim;
+import elderseam.gossip.Standing;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The states in {@code gossip watch --json}, in the order of their constants. */
+class GossipWordsTest {
+    @Test
+    void statesKeepTheirWords() {
+        assertEquals(List.of("ALIVE", "SUSPECT", "DEAD", "LEFT"), Arrays.stream(Standing.values()).map(GossipCommand.Watch::word).toList());
+        assertEquals(List.of("CLOSED", "HALF_OPEN", "OPEN"), Arrays.stream(Claim.State.values()).map(GossipCommand.Watch::word).toList());
+    }
+}
