--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint run figures bench engines fuzz long
+.PHONY: build test lint format run figures bench engines fuzz long
 
 build:
 	mvn -q -B -DskipTests package
@@ -10,6 +10,10 @@
 lint:
 	mvn -q -B test-compile
 
+# Formats all Java sources; mvn verify fails on a source that this would change.
+format:
+	mvn -q -B spotless:apply
+
 run: build
 	exec $$(sed -n 's/^run = "exec \(.*\)"/\1/p' deploy/balancer.toml)
 
