--- a/bench/src/elderseam/fleet/EngineBench.java
+++ b/bench/src/elderseam/fleet/EngineBench.java
@@ -30,7 +30,7 @@
         Path folder = Files.createTempDirectory("engine-" + engine);
         int port;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort() % 20_000 + 10_000;   // below the ports that are given out
+            port = free.getLocalPort() % 20_000 + 10_000; // below the ports that are given out
         }
         BlockingQueue<Held> held = new LinkedBlockingQueue<>();
         Map<Integer, Process> members = new LinkedHashMap<>();
@@ -41,9 +41,11 @@
         try {
             Held now = held.poll(60, TimeUnit.SECONDS);
             System.out.println(engine + ": first lease after " + (now.atNs - began) / 1_000_000 + " ms");
-            Histogram takeover = new Histogram(60_000_000L, 3), memory = new Histogram(64_000_000L, 3), threads = new Histogram(10_000L, 3);
+            Histogram takeover = new Histogram(60_000_000L, 3),
+                    memory = new Histogram(64_000_000L, 3),
+                    threads = new Histogram(10_000L, 3);
             for (int k = 0; k < kills; k++) {
-                Thread.sleep(2_500);   // all three settled: what follows is one failure
+                Thread.sleep(2_500); // all three settled: what follows is one failure
                 for (Process p : members.values()) {
                     memory.recordValue(status(p, "VmRSS"));
                     threads.recordValue(status(p, "Threads"));
@@ -56,26 +58,45 @@
                 members.put(now.member, start(engine, now.member, port, folder, held));
                 now = next;
             }
-            System.out.println(engine + ": new holder after ms p50 " + takeover.getValueAtPercentile(50) + ", p99 " + takeover.getValueAtPercentile(99)
-                    + " of " + kills + " kills; memory of a process kB " + memory.getValueAtPercentile(50) + ", threads " + threads.getValueAtPercentile(50));
+            System.out.println(engine + ": new holder after ms p50 " + takeover.getValueAtPercentile(50) + ", p99 "
+                    + takeover.getValueAtPercentile(99) + " of " + kills + " kills; memory of a process kB "
+                    + memory.getValueAtPercentile(50) + ", threads " + threads.getValueAtPercentile(50));
         } finally {
             members.values().forEach(Process::destroyForcibly);
         }
     }
 
-    private static Process start(String engine, int number, int port, Path folder, BlockingQueue<Held> held) throws IOException {
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k",
-                "-Xmx64m", "-cp", System.getProperty("java.class.path"), EngineMember.class.getName(), engine, Integer.toString(number), Integer.toString(port),
-                folder.resolve("m" + number).toString()).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    private static Process start(String engine, int number, int port, Path folder, BlockingQueue<Held> held)
+            throws IOException {
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xss256k",
+                        "-Xmx64m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        EngineMember.class.getName(),
+                        engine,
+                        Integer.toString(number),
+                        Integer.toString(port),
+                        folder.resolve("m" + number).toString())
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
         BufferedReader lines = p.inputReader();
-        Thread reader = new Thread(() -> lines.lines().filter(l -> l.equals("held")).forEach(l -> held.add(new Held(number, System.nanoTime()))));
+        Thread reader = new Thread(() -> lines.lines()
+                .filter(l -> l.equals("held"))
+                .forEach(l -> held.add(new Held(number, System.nanoTime()))));
         reader.setDaemon(true);
         reader.start();
         return p;
     }
 
     private static long status(Process p, String figure) throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + p.pid() + "/status")).stream().filter(l -> l.startsWith(figure + ":"))
-                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
+        return Files.readAllLines(Path.of("/proc/" + p.pid() + "/status")).stream()
+                .filter(l -> l.startsWith(figure + ":"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .findFirst()
+                .orElse(0);
     }
 }
--- a/bench/src/elderseam/fleet/EngineMember.java
+++ b/bench/src/elderseam/fleet/EngineMember.java
@@ -51,41 +51,70 @@
         for (int i = 1; i <= MEMBERS; i++) {
             peers.put("m" + i, new InetSocketAddress("127.0.0.1", port + i));
         }
-        LeaseGroup group = LeaseGroup.start(new LeaseGroup.Opening("bench", "m" + number, peers.get("m" + number), peers, folder, 150,
-                Long.toString(System.nanoTime()), System::nanoTime, new LeaseMachine.Watch() {
+        LeaseGroup group = LeaseGroup.start(new LeaseGroup.Opening(
+                "bench",
+                "m" + number,
+                peers.get("m" + number),
+                peers,
+                folder,
+                150,
+                Long.toString(System.nanoTime()),
+                System::nanoTime,
+                new LeaseMachine.Watch() {
                     @Override
                     public void led(String by) {
                         say("led by " + by);
                     }
-                }, LeaseGroup.SNAPSHOT_EVERY));
-        new LeaseHolder(group, List.of("task"), TERM_MS, new Tenure.Bounds(0.05), new SplittableRandom(number), System::nanoTime, new LeaseHolder.Events() {
-            private long token = -1;
+                },
+                LeaseGroup.SNAPSHOT_EVERY));
+        new LeaseHolder(
+                group,
+                List.of("task"),
+                TERM_MS,
+                new Tenure.Bounds(0.05),
+                new SplittableRandom(number),
+                System::nanoTime,
+                new LeaseHolder.Events() {
+                    private long token = -1;
 
-            @Override
-            public void asked(String lease, LeaseKeeper.Ask ask, long of) {
-                // only the outcome counts
-            }
+                    @Override
+                    public void asked(String lease, LeaseKeeper.Ask ask, long of) {
+                        // only the outcome counts
+                    }
 
-            @Override
-            public void released(String lease) {
-                // it never is
-            }
+                    @Override
+                    public void released(String lease) {
+                        // it never is
+                    }
 
-            @Override
-            public void answered(String lease, LeaseTable.Outcome outcome, Tenure tenure) {
-                if (tenure != null && tenure.token() != token) {
-                    token = tenure.token();
-                    say("held");
-                }
-            }
-        });
+                    @Override
+                    public void answered(String lease, LeaseTable.Outcome outcome, Tenure tenure) {
+                        if (tenure != null && tenure.token() != token) {
+                            token = tenure.token();
+                            say("held");
+                        }
+                    }
+                });
     }
 
     private static void zooKeeper(int number, int port, Path folder) throws Exception {
         Files.writeString(folder.resolve("myid"), Integer.toString(number));
         Properties p = new Properties();
-        p.putAll(Map.of("tickTime", "400", "initLimit", "20", "syncLimit", "5", "dataDir", folder.toString(), "clientPort", Integer.toString(port + number),
-                "clientPortAddress", "127.0.0.1", "admin.enableServer", "false"));
+        p.putAll(Map.of(
+                "tickTime",
+                "400",
+                "initLimit",
+                "20",
+                "syncLimit",
+                "5",
+                "dataDir",
+                folder.toString(),
+                "clientPort",
+                Integer.toString(port + number),
+                "clientPortAddress",
+                "127.0.0.1",
+                "admin.enableServer",
+                "false"));
         StringBuilder all = new StringBuilder();
         for (int i = 1; i <= MEMBERS; i++) {
             p.put("server." + i, "127.0.0.1:" + (port + 10 + i) + ":" + (port + 20 + i));
@@ -93,16 +122,19 @@
         }
         QuorumPeerConfig config = new QuorumPeerConfig();
         config.parseProperties(p);
-        Thread server = new Thread(() -> {
-            try {
-                new QuorumPeerMain().runFromConfig(config);
-            } catch (Exception e) {
-                e.printStackTrace();
-            }
-        }, "server");
+        Thread server = new Thread(
+                () -> {
+                    try {
+                        new QuorumPeerMain().runFromConfig(config);
+                    } catch (Exception e) {
+                        e.printStackTrace();
+                    }
+                },
+                "server");
         server.setDaemon(true);
         server.start();
-        CuratorFramework client = CuratorFrameworkFactory.newClient(all.toString(), TERM_MS, 1_000, new RetryForever(50));
+        CuratorFramework client =
+                CuratorFrameworkFactory.newClient(all.toString(), TERM_MS, 1_000, new RetryForever(50));
         client.start();
         new InterProcessMutex(client, "/task").acquire();
         say("held");
--- a/bench/src/elderseam/rules/lang/ExpressionBench.java
+++ b/bench/src/elderseam/rules/lang/ExpressionBench.java
@@ -31,16 +31,34 @@
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 5, time = 1)
-@Fork(value = 1, jvmArgsAppend = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m"})
+@Fork(
+        value = 1,
+        jvmArgsAppend = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m"})
 public class ExpressionBench {
-    private static final String WHEN = "tenant == 'erongo' && headers['x-kind'].startsWith('rent') && destination > 3 && size < 4096 && rate > 3.0 * share";
+    private static final String WHEN =
+            "tenant == 'erongo' && headers['x-kind'].startsWith('rent') && destination > 3 && size < 4096 && rate > 3.0 * share";
     private static final String KEY = "tenant + '/' + lease + '/' + month";
 
     @Param({"when", "key"})
     public String what;
 
-    private final Map<String, Object> values = Map.of("tenant", "erongo", "headers", Map.of("x-kind", "rent-invoice"), "destination", 17L, "size", 300L,
-            "rate", 10.0, "share", 2.0, "lease", "L-2041", "month", "2026-12");
+    private final Map<String, Object> values = Map.of(
+            "tenant",
+            "erongo",
+            "headers",
+            Map.of("x-kind", "rent-invoice"),
+            "destination",
+            17L,
+            "size",
+            300L,
+            "rate",
+            10.0,
+            "share",
+            2.0,
+            "lease",
+            "L-2041",
+            "month",
+            "2026-12");
     private Expression expression;
     private Program program;
     private Inputs inputs;
@@ -48,10 +66,18 @@
 
     @Setup
     public void set() throws CelValidationException, CelEvaluationException {
-        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope().name("tenant", Type.Plain.STRING, Size.text(64))
-                .name("headers", new Type.MapType(Type.Plain.STRING, Type.Plain.STRING), Size.list(64, Size.text(1_024)))
-                .name("destination", Type.Plain.INT, Size.ONE).name("size", Type.Plain.INT, Size.ONE).name("rate", Type.Plain.DOUBLE, Size.ONE)
-                .name("share", Type.Plain.DOUBLE, Size.ONE).name("lease", Type.Plain.STRING, Size.text(64)).name("month", Type.Plain.STRING, Size.text(64));
+        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope()
+                .name("tenant", Type.Plain.STRING, Size.text(64))
+                .name(
+                        "headers",
+                        new Type.MapType(Type.Plain.STRING, Type.Plain.STRING),
+                        Size.list(64, Size.text(1_024)))
+                .name("destination", Type.Plain.INT, Size.ONE)
+                .name("size", Type.Plain.INT, Size.ONE)
+                .name("rate", Type.Plain.DOUBLE, Size.ONE)
+                .name("share", Type.Plain.DOUBLE, Size.ONE)
+                .name("lease", Type.Plain.STRING, Size.text(64))
+                .name("month", Type.Plain.STRING, Size.text(64));
         String text = what.equals("when") ? WHEN : KEY;
         expression = Expression.compile(text, scope, Type.Plain.DYN, 100_000).expression();
         program = expression.program();
@@ -73,12 +99,24 @@
                 return (Double) all[name];
             }
         };
-        CelOptions options = CelOptions.current().enableHeterogeneousNumericComparisons(true).build();
-        library = CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(options).build().createProgram(
-                CelCompilerFactory.standardCelCompilerBuilder().setOptions(options).addVar("tenant", SimpleType.STRING)
-                        .addVar("headers", MapType.create(SimpleType.STRING, SimpleType.STRING)).addVar("destination", SimpleType.INT)
-                        .addVar("size", SimpleType.INT).addVar("rate", SimpleType.DOUBLE).addVar("share", SimpleType.DOUBLE)
-                        .addVar("lease", SimpleType.STRING).addVar("month", SimpleType.STRING).build().compile(text).getAst());
+        CelOptions options =
+                CelOptions.current().enableHeterogeneousNumericComparisons(true).build();
+        library = CelRuntimeFactory.standardCelRuntimeBuilder()
+                .setOptions(options)
+                .build()
+                .createProgram(CelCompilerFactory.standardCelCompilerBuilder()
+                        .setOptions(options)
+                        .addVar("tenant", SimpleType.STRING)
+                        .addVar("headers", MapType.create(SimpleType.STRING, SimpleType.STRING))
+                        .addVar("destination", SimpleType.INT)
+                        .addVar("size", SimpleType.INT)
+                        .addVar("rate", SimpleType.DOUBLE)
+                        .addVar("share", SimpleType.DOUBLE)
+                        .addVar("lease", SimpleType.STRING)
+                        .addVar("month", SimpleType.STRING)
+                        .build()
+                        .compile(text)
+                        .getAst());
     }
 
     @Benchmark
@@ -101,9 +139,15 @@
     public Object byHand() {
         String tenant = (String) values.get("tenant");
         if (what.equals("key")) {
-            return tenant.concat("/").concat((String) values.get("lease")).concat("/").concat((String) values.get("month"));
+            return tenant.concat("/")
+                    .concat((String) values.get("lease"))
+                    .concat("/")
+                    .concat((String) values.get("month"));
         }
-        return tenant.equals("erongo") && ((Map<String, String>) values.get("headers")).get("x-kind").startsWith("rent") && (Long) values.get("destination") > 3
-                && (Long) values.get("size") < 4096 && (Double) values.get("rate") > 3.0 * (Double) values.get("share");
+        return tenant.equals("erongo")
+                && ((Map<String, String>) values.get("headers")).get("x-kind").startsWith("rent")
+                && (Long) values.get("destination") > 3
+                && (Long) values.get("size") < 4096
+                && (Double) values.get("rate") > 3.0 * (Double) values.get("share");
     }
 }
--- a/bench/src/elderseam/rules/lang/FrontEnds.java
+++ b/bench/src/elderseam/rules/lang/FrontEnds.java
@@ -23,26 +23,42 @@
         Object value = switch (args[0]) {
             case "own" -> own();
             case "front" -> compiler().compile(TEXT).getAst().getResultType();
-            case "library" -> CelRuntimeFactory.standardCelRuntimeBuilder().build().createProgram(compiler().compile(TEXT).getAst())
-                    .eval(Map.of("tenant", "erongo", "size", 4L));
+            case "library" ->
+                CelRuntimeFactory.standardCelRuntimeBuilder()
+                        .build()
+                        .createProgram(compiler().compile(TEXT).getAst())
+                        .eval(Map.of("tenant", "erongo", "size", 4L));
             default -> "none";
         };
         long ms = (System.nanoTime() - start) / 1_000_000;
-        String resident = Files.readAllLines(Path.of("/proc/self/status")).stream().filter(l -> l.startsWith("VmRSS")).findFirst().orElse("").replaceAll("\\s+", " ");
-        System.out.println(args[0] + ": " + value + ", " + ms + " ms, " + resident + ", " + ManagementFactory.getClassLoadingMXBean().getTotalLoadedClassCount() + " classes");
+        String resident = Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(l -> l.startsWith("VmRSS"))
+                .findFirst()
+                .orElse("")
+                .replaceAll("\\s+", " ");
+        System.out.println(args[0] + ": " + value + ", " + ms + " ms, " + resident + ", "
+                + ManagementFactory.getClassLoadingMXBean().getTotalLoadedClassCount() + " classes");
     }
 
     private static CelCompiler compiler() {
-        return CelCompilerFactory.standardCelCompilerBuilder().addVar("tenant", SimpleType.STRING).addVar("size", SimpleType.INT).build();
+        return CelCompilerFactory.standardCelCompilerBuilder()
+                .addVar("tenant", SimpleType.STRING)
+                .addVar("size", SimpleType.INT)
+                .build();
     }
 
     private static Object own() {
-        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope().name("tenant", Type.Plain.STRING, Size.text(64)).name("size", Type.Plain.INT, Size.ONE);
-        return Expression.compile(TEXT, scope, Type.Plain.BOOL, 10_000).expression().program().truth(new Inputs() {
-            @Override
-            protected Object value(int name) {
-                return name == 0 ? "erongo" : (Object) 4L;
-            }
-        });
+        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope()
+                .name("tenant", Type.Plain.STRING, Size.text(64))
+                .name("size", Type.Plain.INT, Size.ONE);
+        return Expression.compile(TEXT, scope, Type.Plain.BOOL, 10_000)
+                .expression()
+                .program()
+                .truth(new Inputs() {
+                    @Override
+                    protected Object value(int name) {
+                        return name == 0 ? "erongo" : (Object) 4L;
+                    }
+                });
     }
 }
--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -1,10 +1,10 @@
 package elderseam;
 
 import elderseam.settings.Keys;
+import elderseam.settings.SettingsFault;
 import elderseam.wiring.Daemon;
 import elderseam.wiring.Rehearsals;
 import elderseam.wiring.Training;
-import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -17,10 +17,14 @@
     public static void main(String[] args) throws Exception {
         if (args.length == 1 && args[0].equals("simhost")) {
             Rehearsals.simulate();
-        } else if (args.length >= 1 && args.length <= 2 && args[0].equals("serve") && (args.length == 1 || !args[1].startsWith("-"))) {
+        } else if (args.length >= 1
+                && args.length <= 2
+                && args[0].equals("serve")
+                && (args.length == 1 || !args[1].startsWith("-"))) {
             serve(Path.of(args.length > 1 ? args[1] : Keys.FILE));
         } else {
-            System.exit(elderseam.cli.Commands.run(args, Main::serve, Rehearsals::simulate, Rehearsals::authority, Training::run));
+            System.exit(elderseam.cli.Commands.run(
+                    args, Main::serve, Rehearsals::simulate, Rehearsals::authority, Training::run));
         }
     }
 
@@ -31,7 +35,7 @@
         } catch (SettingsFault e) {
             e.faults().forEach(System.err::println);
             System.exit(1);
-        } catch (IOException | IllegalArgumentException e) {   // of the RELAY variables, or what they name
+        } catch (IOException | IllegalArgumentException e) { // of the RELAY variables, or what they name
             System.err.println("elderseam: " + (e instanceof NoSuchFileException ? "no file " : "") + e.getMessage());
             System.exit(1);
         }
--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/acme/Authority.java
@@ -15,9 +15,9 @@
 import elderseam.http.UpstreamHost;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.math.BigInteger;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.math.BigInteger;
 import java.security.GeneralSecurityException;
 import java.security.KeyPair;
 import java.security.SecureRandom;
@@ -60,7 +60,7 @@
  */
 public final class Authority {
     static {
-        Security.addProvider(new BouncyCastleProvider());   // acme4j's helpers ask for it by name
+        Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
 
     private static final String ERROR = "urn:ietf:params:acme:error:";
@@ -104,8 +104,11 @@
     private final Duration before, after;
     private volatile int ordered, signed;
     private final KeyPair rootKey = KeyPairUtils.createKeyPair(2048);
-    private final X509Certificate root = CertificateUtils.createTestRootCertificate("CN=elderseam rehearsal root",
-            Instant.now().minus(1, ChronoUnit.DAYS), Instant.now().plus(365, ChronoUnit.DAYS), rootKey);
+    private final X509Certificate root = CertificateUtils.createTestRootCertificate(
+            "CN=elderseam rehearsal root",
+            Instant.now().minus(1, ChronoUnit.DAYS),
+            Instant.now().plus(365, ChronoUnit.DAYS),
+            rootKey);
     private final Set<String> nonces = new LinkedHashSet<>();
     private final Map<String, Account> accounts = new HashMap<>();
     private final List<Authorization> authorizations = new ArrayList<>();
@@ -117,7 +120,8 @@
     }
 
     /** What it signs holds from {@code before} it is signed until {@code after}. */
-    public Authority(Io io, InetSocketAddress address, int challengePort, Duration before, Duration after) throws IOException {
+    public Authority(Io io, InetSocketAddress address, int challengePort, Duration before, Duration after)
+            throws IOException {
         this.io = io;
         this.before = before;
         this.after = after;
@@ -153,7 +157,8 @@
         try {
             route(r, to);
         } catch (Problem p) {
-            ObjectNode node = json.createObjectNode().put("type", ERROR + p.type).put("detail", p.getMessage());
+            ObjectNode node =
+                    json.createObjectNode().put("type", ERROR + p.type).put("detail", p.getMessage());
             answer(to, p.code, "application/problem+json", Map.of(), node.toString());
         }
     }
@@ -189,8 +194,14 @@
     private void route(Request r, Answerer to) throws Problem {
         String path = r.path();
         if (path.equals("/directory")) {
-            answer(to, 200, Map.of(), json.createObjectNode().put("newNonce", url("/new-nonce"))
-                    .put("newAccount", url("/new-account")).put("newOrder", url("/new-order")));
+            answer(
+                    to,
+                    200,
+                    Map.of(),
+                    json.createObjectNode()
+                            .put("newNonce", url("/new-nonce"))
+                            .put("newAccount", url("/new-account"))
+                            .put("newOrder", url("/new-order")));
             return;
         }
         if (path.equals("/new-nonce")) {
@@ -268,7 +279,8 @@
             if (account == null && !fresh) {
                 throw new Problem(400, "accountDoesNotExist", "no such account");
             }
-            PublicJsonWebKey key = fresh ? PublicJsonWebKey.Factory.newPublicJwk(header.get("jwk").toString())
+            PublicJsonWebKey key = fresh
+                    ? PublicJsonWebKey.Factory.newPublicJwk(header.get("jwk").toString())
                     : account.key;
             JsonWebSignature signature = new JsonWebSignature();
             signature.setCompactSerialization(head + "." + jws.path("payload").asText() + "."
@@ -292,7 +304,11 @@
         }
         full(accounts.size());
         accounts.putIfAbsent(url, new Account(url, s.key));
-        answer(to, known ? 200 : 201, Map.of("Location", url), json.createObjectNode().put("status", "valid"));
+        answer(
+                to,
+                known ? 200 : 201,
+                Map.of("Location", url),
+                json.createObjectNode().put("status", "valid"));
     }
 
     private static void full(int kept) throws Problem {
@@ -318,7 +334,7 @@
                 throw new Problem(400, "unsupportedIdentifier", "only dns");
             }
             String name = id.path("value").asText();
-            if (!name.matches("localhost|([a-z0-9-]{1,63}\\.)+localhost")) {   // nothing off this machine
+            if (!name.matches("localhost|([a-z0-9-]{1,63}\\.)+localhost")) { // nothing off this machine
                 throw new Problem(400, "rejectedIdentifier", "only names under localhost");
             }
             o.names.add(name);
@@ -346,7 +362,8 @@
             o.authorizations.forEach(a -> states.add(authorizations.get(a).status));
             o.status = states.contains("invalid") ? "invalid" : states.contains("pending") ? "pending" : "ready";
         }
-        ObjectNode n = json.createObjectNode().put("status", o.status).put("finalize", url("/order/" + i + "/finalize"));
+        ObjectNode n =
+                json.createObjectNode().put("status", o.status).put("finalize", url("/order/" + i + "/finalize"));
         ArrayNode names = n.putArray("identifiers");
         o.names.forEach(name -> names.addObject().put("type", "dns").put("value", name));
         ArrayNode urls = n.putArray("authorizations");
@@ -365,7 +382,10 @@
     }
 
     private ObjectNode challenge(int i, Authorization a) {
-        return json.createObjectNode().put("type", "http-01").put("url", url("/challenge/" + i)).put("token", a.token)
+        return json.createObjectNode()
+                .put("type", "http-01")
+                .put("url", url("/challenge/" + i))
+                .put("token", a.token)
                 .put("status", a.status);
     }
 
@@ -375,14 +395,19 @@
         if (a.status.equals("pending")) {
             long by = io.clock.now() + VALIDATE_NS;
             UpstreamHost named = new UpstreamHost("localhost", "127.0.0.1:" + challengePort);
-            connections.send(named, Call.get("/.well-known/acme-challenge/" + a.token), by, by, reply ->
-                    a.status = proves(reply, expected) ? "valid" : "invalid");
+            connections.send(
+                    named,
+                    Call.get("/.well-known/acme-challenge/" + a.token),
+                    by,
+                    by,
+                    reply -> a.status = proves(reply, expected) ? "valid" : "invalid");
         }
         answer(to, 200, Map.of("Link", "<" + url("/authz/" + i) + ">;rel=\"up\""), challenge(i, a));
     }
 
     private static boolean proves(Reply reply, String expected) {
-        return reply.answered() && reply.code() == 200
+        return reply.answered()
+                && reply.code() == 200
                 && new String(reply.body(), StandardCharsets.UTF_8).strip().equals(expected);
     }
 
@@ -395,8 +420,8 @@
             PKCS10CertificationRequest csr = new PKCS10CertificationRequest(
                     Base64.getUrlDecoder().decode(payload.path("csr").asText()));
             Extensions wanted = csr.getRequestedExtensions();
-            GeneralNames san = wanted == null ? null
-                    : GeneralNames.fromExtensions(wanted, Extension.subjectAlternativeName);
+            GeneralNames san =
+                    wanted == null ? null : GeneralNames.fromExtensions(wanted, Extension.subjectAlternativeName);
             Set<String> names = new HashSet<>();
             for (GeneralName name : san == null ? new GeneralName[0] : san.getNames()) {
                 names.add(name.getName().toString());
@@ -422,12 +447,19 @@
             throws IOException, GeneralSecurityException {
         Instant now = Instant.now();
         try {
-            return new JcaX509CertificateConverter().getCertificate(new JcaX509v3CertificateBuilder(root,
-                    new BigInteger(64, random), Date.from(now.minus(before)),
-                    Date.from(now.plus(after)), csr.getSubject(),
-                    new JcaPKCS10CertificationRequest(csr).getPublicKey())
-                    .addExtension(Extension.subjectAlternativeName, csr.getSubject().getRDNs().length == 0, names)
-                    .build(new JcaContentSignerBuilder("SHA256withRSA").build(rootKey.getPrivate())));
+            return new JcaX509CertificateConverter()
+                    .getCertificate(new JcaX509v3CertificateBuilder(
+                                    root,
+                                    new BigInteger(64, random),
+                                    Date.from(now.minus(before)),
+                                    Date.from(now.plus(after)),
+                                    csr.getSubject(),
+                                    new JcaPKCS10CertificationRequest(csr).getPublicKey())
+                            .addExtension(
+                                    Extension.subjectAlternativeName,
+                                    csr.getSubject().getRDNs().length == 0,
+                                    names)
+                            .build(new JcaContentSignerBuilder("SHA256withRSA").build(rootKey.getPrivate())));
         } catch (OperatorCreationException e) {
             throw new GeneralSecurityException(e);
         }
--- a/src/main/java/elderseam/acme/Bundle.java
+++ b/src/main/java/elderseam/acme/Bundle.java
@@ -18,9 +18,11 @@
 import org.shredzone.acme4j.util.KeyPairUtils;
 
 /** A certificate as one member passes it on to the others: the private key and the chain, each PEM text. */
-record Bundle(@JsonProperty("key") String key, @JsonProperty("chain") String chain) {
+record Bundle(
+        @JsonProperty("key") String key,
+        @JsonProperty("chain") String chain) {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int DNS = 2;   // of GeneralName, RFC 5280
+    private static final int DNS = 2; // of GeneralName, RFC 5280
 
     byte[] encoded() throws IOException {
         return JSON.writeValueAsBytes(this);
@@ -31,7 +33,9 @@
     }
 
     static List<X509Certificate> chain(byte[] pem) throws GeneralSecurityException {
-        return CertificateFactory.getInstance("X.509").generateCertificates(new ByteArrayInputStream(pem)).stream().map(X509Certificate.class::cast).toList();
+        return CertificateFactory.getInstance("X.509").generateCertificates(new ByteArrayInputStream(pem)).stream()
+                .map(X509Certificate.class::cast)
+                .toList();
     }
 
     /** What speaks against serving this for {@code names} at {@code now}, or null. */
@@ -52,13 +56,20 @@
             if (!told.containsAll(names)) {
                 return "it is for " + told + ", not for " + names;
             }
-            return now.isBefore(all.get(0).getNotAfter().toInstant()) ? null : "it ended at " + all.get(0).getNotAfter().toInstant();
-        } catch (GeneralSecurityException | IOException | RuntimeException e) {   // whatever the libraries make of bytes that are none
+            return now.isBefore(all.get(0).getNotAfter().toInstant())
+                    ? null
+                    : "it ended at " + all.get(0).getNotAfter().toInstant();
+        } catch (GeneralSecurityException
+                | IOException
+                | RuntimeException e) { // whatever the libraries make of bytes that are none
             return "it can't be read: " + e.getMessage();
         }
     }
 
     Instant begins() throws GeneralSecurityException {
-        return chain(chain.getBytes(StandardCharsets.US_ASCII)).get(0).getNotBefore().toInstant();
+        return chain(chain.getBytes(StandardCharsets.US_ASCII))
+                .get(0)
+                .getNotBefore()
+                .toInstant();
     }
 }
--- a/src/main/java/elderseam/acme/Certificates.java
+++ b/src/main/java/elderseam/acme/Certificates.java
@@ -49,23 +49,25 @@
  */
 public final class Certificates {
     static {
-        Security.addProvider(new BouncyCastleProvider());   // acme4j's helpers ask for it by name
+        Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
 
-    private static final Duration ORDER = Duration.ofSeconds(60), AGAIN = Duration.ofSeconds(30),
-            LOOK = Duration.ofSeconds(1), FIRST = Duration.ofMinutes(3);   // while another orders; for the very first one
+    private static final Duration ORDER = Duration.ofSeconds(60),
+            AGAIN = Duration.ofSeconds(30),
+            LOOK = Duration.ofSeconds(1),
+            FIRST = Duration.ofMinutes(3); // while another orders; for the very first one
 
     private final String directory;
     private final List<String> names;
     private final Path folder;
     private final Consumer<SSLContext> renewed;
-    private final Sharing sharing;   // null where each orders for itself
+    private final Sharing sharing; // null where each orders for itself
     private final Instant began = Instant.now();
     private final Map<String, String> challenges = new ConcurrentHashMap<>();
-    private volatile Map<String, String> others = Map.of();   // challenges of the member that orders
-    private byte[] heard;        // what another passed on and was not looked at yet; this and the next two of its own thread
-    private byte[] passed = {};  // the last bundle that this member passed on or took over
-    private boolean told;        // of a first context
+    private volatile Map<String, String> others = Map.of(); // challenges of the member that orders
+    private byte[] heard; // what another passed on and was not looked at yet; this and the next two of its own thread
+    private byte[] passed = {}; // the last bundle that this member passed on or took over
+    private boolean told; // of a first context
     private ScheduledFuture<?> next;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "certificates");
@@ -79,7 +81,8 @@
     }
 
     /** {@code sharing}: with a fleet, or null. */
-    public Certificates(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed, Sharing sharing) {
+    public Certificates(
+            String directory, List<String> names, Path folder, Consumer<SSLContext> renewed, Sharing sharing) {
         this.directory = directory;
         this.names = names;
         this.folder = folder;
@@ -97,7 +100,7 @@
         if (bundle != null) {
             thread.execute(() -> {
                 heard = bundle;
-                if (next != null && next.cancel(false)) {   // else it looks soon
+                if (next != null && next.cancel(false)) { // else it looks soon
                     keep();
                 }
             });
@@ -107,7 +110,9 @@
     /** Answers the authority's look at {@code /.well-known/acme-challenge/TOKEN}. */
     public void challenge(Request r, Answerer to) {
         String authorization = answer(r.path());
-        to.answer(authorization == null ? 404 : 200, Map.of("Content-Type", "application/octet-stream"),
+        to.answer(
+                authorization == null ? 404 : 200,
+                Map.of("Content-Type", "application/octet-stream"),
                 authorization == null ? "" : authorization);
     }
 
@@ -145,11 +150,15 @@
         } catch (InterruptedException e) {
             return;
         }
-        next = thread.schedule(this::keep, Math.max(1_000, Duration.between(Instant.now(), at).toMillis()), TimeUnit.MILLISECONDS);
+        next = thread.schedule(
+                this::keep, Math.max(1_000, Duration.between(Instant.now(), at).toMillis()), TimeUnit.MILLISECONDS);
     }
 
     private boolean mine(Instant now, Instant dueAt, List<X509Certificate> chain) {
-        Instant lastAt = chain.isEmpty() ? began.plus(FIRST) : dueAt.plus(Duration.between(dueAt, chain.get(0).getNotAfter().toInstant()).dividedBy(2));
+        Instant lastAt = chain.isEmpty()
+                ? began.plus(FIRST)
+                : dueAt.plus(Duration.between(dueAt, chain.get(0).getNotAfter().toInstant())
+                        .dividedBy(2));
         return sharing == null || sharing.mine(now, dueAt, lastAt);
     }
 
@@ -170,7 +179,7 @@
             return false;
         }
         Files.createDirectories(folder);
-        Files.deleteIfExists(folder.resolve("chain.pem"));   // a chain beside another's key serves nobody: none is better
+        Files.deleteIfExists(folder.resolve("chain.pem")); // a chain beside another's key serves nobody: none is better
         put("key.pem", bundle.key());
         put("chain.pem", bundle.chain());
         passed = bytes;
@@ -180,7 +189,8 @@
 
     /** The holder's certificate for the others, once, be it one of before the fleet. */
     private void pass() throws IOException {
-        Bundle own = new Bundle(Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
+        Bundle own =
+                new Bundle(Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
         byte[] bytes = own.encoded();
         if (!Arrays.equals(bytes, passed) && sharing.pass(bytes)) {
             passed = bytes;
@@ -193,7 +203,9 @@
     }
 
     private void order(Instant by) throws AcmeException, IOException, InterruptedException {
-        Account account = new AccountBuilder().agreeToTermsOfService().useKeyPair(key("account.pem"))
+        Account account = new AccountBuilder()
+                .agreeToTermsOfService()
+                .useKeyPair(key("account.pem"))
                 .create(new Session(directory));
         Order order = account.newOrder().domains(names).create();
         try {
@@ -203,7 +215,7 @@
                 if (a.getStatus() != Status.VALID) {
                     challenges.put(c.getToken(), c.getAuthorization());
                     if (sharing != null) {
-                        sharing.challenges(challenges);   // known to all before the authority looks
+                        sharing.challenges(challenges); // known to all before the authority looks
                     }
                     c.trigger();
                 }
--- a/src/main/java/elderseam/acme/Seal.java
+++ b/src/main/java/elderseam/acme/Seal.java
@@ -49,7 +49,8 @@
             if (!rights.endsWith("------")) {
                 throw fault(file, "others than its owner may use it (" + rights + "), allowed: " + OWNER + " or less");
             }
-            byte[] key = Base64.getDecoder().decode(Files.readString(file, StandardCharsets.ISO_8859_1).strip());
+            byte[] key = Base64.getDecoder()
+                    .decode(Files.readString(file, StandardCharsets.ISO_8859_1).strip());
             if (key.length != KEY) {
                 throw fault(file, key.length + " bytes, allowed: " + KEY + " in base64, as `keys seal` writes them");
             }
@@ -74,7 +75,11 @@
             cipher.init(Cipher.ENCRYPT_MODE, key, new GCMParameterSpec(TAG_BITS, nonce));
             cipher.updateAAD(about.getBytes(StandardCharsets.UTF_8));
             byte[] sealed = cipher.doFinal(plain);
-            return Base64.getEncoder().encodeToString(ByteBuffer.allocate(NONCE + sealed.length).put(nonce).put(sealed).array());
+            return Base64.getEncoder()
+                    .encodeToString(ByteBuffer.allocate(NONCE + sealed.length)
+                            .put(nonce)
+                            .put(sealed)
+                            .array());
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("every JDK has AES/GCM", e);
         }
--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -30,36 +30,66 @@
 import picocli.CommandLine.Spec;
 
 /** The fleet: a trial of one in virtual time, and a look at one that runs. */
-@Command(name = "gossip", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-        description = "The fleet of instances.", subcommands = {GossipCommand.TrialCommand.class, GossipCommand.Watch.class})
+@Command(
+        name = "gossip",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        description = "The fleet of instances.",
+        subcommands = {GossipCommand.TrialCommand.class, GossipCommand.Watch.class})
 final class GossipCommand extends Commands.Group {
-    @Command(name = "trial", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "A fleet in virtual time: it joins, runs undisturbed, loses one member and finds out; then, with --service, its "
-                    + "dispatchers meet outages, with gossip off and on. One seed gives the same bytes each time.")
+    @Command(
+            name = "trial",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "A fleet in virtual time: it joins, runs undisturbed, loses one member and finds out; then, with --service, its "
+                            + "dispatchers meet outages, with gossip off and on. One seed gives the same bytes each time.")
     static final class TrialCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Option(names = "--instances", defaultValue = "5", description = "3 to 1000 (${DEFAULT-VALUE})")
         private int instances;
-        @Option(names = "--loss", defaultValue = "0", description = "share of datagrams lost, 0 to 0.9 (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--loss",
+                defaultValue = "0",
+                description = "share of datagrams lost, 0 to 0.9 (${DEFAULT-VALUE})")
         private double loss;
+
         @Option(names = "--no-local-health", description = "without Lifeguard's parts")
         private boolean plain;
-        @Option(names = "--undisturbed", defaultValue = "60", paramLabel = "SECONDS", description = "of virtual time (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--undisturbed",
+                defaultValue = "60",
+                paramLabel = "SECONDS",
+                description = "of virtual time (${DEFAULT-VALUE})")
         private int seconds;
+
         @Option(names = "--service", description = "dispatchers and partners too")
         private boolean service;
-        @Option(names = "--liars", defaultValue = "0", description = "instances that say of each partner that it is down; with --service (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--liars",
+                defaultValue = "0",
+                description = "instances that say of each partner that it is down; with --service (${DEFAULT-VALUE})")
         private int liars;
+
         @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
         private long seed;
-        @Option(names = "--json", paramLabel = "FILE", description = "writes one JSON object there; - for standard output, alone")
+
+        @Option(
+                names = "--json",
+                paramLabel = "FILE",
+                description = "writes one JSON object there; - for standard output, alone")
         private Path json;
 
         @Override
         public Integer call() throws IOException {
             if (liars < 0 || liars >= instances) {
-                throw new ParameterException(spec.commandLine(), "--liars: " + liars + ", allowed: 0 to fewer than --instances");
+                throw new ParameterException(
+                        spec.commandLine(), "--liars: " + liars + ", allowed: 0 to fewer than --instances");
             }
             try {
                 boolean quiet = json != null && json.toString().equals("-");
@@ -86,7 +116,9 @@
         }
 
         private void tell(boolean quiet, Trial trial, Service off, Service on) throws IOException {
-            String object = off == null ? trial.json() : "{\"membership\":" + trial.json() + ",\"off\":" + off.json() + ",\"on\":" + on.json() + "}";
+            String object = off == null
+                    ? trial.json()
+                    : "{\"membership\":" + trial.json() + ",\"off\":" + off.json() + ",\"on\":" + on.json() + "}";
             PrintWriter out = spec.commandLine().getOut();
             if (quiet) {
                 out.println(object);
@@ -95,7 +127,7 @@
             if (json != null) {
                 Files.writeString(json, object + "\n");
             }
-            out.println(trial.words().stripTrailing());   // print alone would not flush
+            out.println(trial.words().stripTrailing()); // print alone would not flush
             if (off != null) {
                 out.println(off.words());
                 out.println(on.words());
@@ -103,18 +135,28 @@
         }
     }
 
-    @Command(name = "watch", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "Joins a fleet as a member that dispatches nothing, and tells what it has heard. It needs settings, a key and "
-                    + "a line of the roster of its own.")
+    @Command(
+            name = "watch",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "Joins a fleet as a member that dispatches nothing, and tells what it has heard. It needs settings, a key and "
+                            + "a line of the roster of its own.")
     static final class Watch implements Callable<Integer> {
         private record Seen(List<Rumour> members, List<Claim> claims, String counts) {}
 
         @Spec
         private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "SETTINGS", description = "a file with a [gossip] section")
         private Path file;
-        @Option(names = "--seconds", defaultValue = "5", description = "1 to 3600, then it tells and leaves (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--seconds",
+                defaultValue = "5",
+                description = "1 to 3600, then it tells and leaves (${DEFAULT-VALUE})")
         private int seconds;
+
         @Option(names = "--json", description = "one JSON object for each member and claim")
         private boolean json;
 
@@ -135,8 +177,12 @@
             PrintWriter err = spec.commandLine().getErr();
             io.run(() -> {
                 try {
-                    Post post = new Post(io, opening.place(), opening.keys(), Tempo.USUAL,
-                            new Post.Ties(List::of, (destination, word) -> { }, err::println));
+                    Post post = new Post(
+                            io,
+                            opening.place(),
+                            opening.keys(),
+                            Tempo.USUAL,
+                            new Post.Ties(List::of, (destination, word) -> {}, err::println));
                     io.at(clock.now() + seconds * 1_000 * Clock.MS, () -> {
                         seen.complete(new Seen(post.members(), post.claims(), post.counts()));
                         post.leave();
@@ -176,21 +222,31 @@
             PrintWriter out = spec.commandLine().getOut();
             seen.members.stream().sorted(Comparator.comparing(Rumour::member)).forEach(m -> {
                 if (json) {
-                    out.printf("{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n", m.member(), m.address(),
-                            word(m.standing()), m.incarnation());
+                    out.printf(
+                            "{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n",
+                            m.member(), m.address(), word(m.standing()), m.incarnation());
                 } else {
                     out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.standing()));
                 }
             });
-            seen.claims.stream().sorted(Comparator.comparing(Claim::reporter).thenComparingLong(Claim::destination)).forEach(c -> {
-                if (json) {
-                    out.printf("{\"reporter\":\"%s\",\"destination\":%d,\"state\":\"%s\",\"calls\":%d,\"failures\":%d,\"wait_ms\":%d}%n", c.reporter(),
-                            c.destination(), word(c.state()), c.calls(), c.failures(), c.waitMs());
-                } else {
-                    out.printf("%-20s destination %-12d %-10s %d of %d calls failed%n", c.reporter(), c.destination(), word(c.state()), c.failures(),
-                            c.calls());
-                }
-            });
+            seen.claims.stream()
+                    .sorted(Comparator.comparing(Claim::reporter).thenComparingLong(Claim::destination))
+                    .forEach(c -> {
+                        if (json) {
+                            out.printf(
+                                    "{\"reporter\":\"%s\",\"destination\":%d,\"state\":\"%s\",\"calls\":%d,\"failures\":%d,\"wait_ms\":%d}%n",
+                                    c.reporter(),
+                                    c.destination(),
+                                    word(c.state()),
+                                    c.calls(),
+                                    c.failures(),
+                                    c.waitMs());
+                        } else {
+                            out.printf(
+                                    "%-20s destination %-12d %-10s %d of %d calls failed%n",
+                                    c.reporter(), c.destination(), word(c.state()), c.failures(), c.calls());
+                        }
+                    });
             spec.commandLine().getErr().println(seen.counts);
         }
     }
--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -29,13 +29,23 @@
 import picocli.CommandLine.Spec;
 
 /** Experiments on the emulator. */
-@Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class, description = "Experiments on an emulated world.",
-        subcommands = {LabCommand.RunCommand.class, LabCommand.SweepCommand.class, LabCommand.CompareCommand.class, LabCommand.FindCommand.class,
-            LabCommand.SubsetsCommand.class})
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        description = "Experiments on an emulated world.",
+        subcommands = {
+            LabCommand.RunCommand.class,
+            LabCommand.SweepCommand.class,
+            LabCommand.CompareCommand.class,
+            LabCommand.FindCommand.class,
+            LabCommand.SubsetsCommand.class
+        })
 final class LabCommand extends Commands.Group {
     private static String known(CommandSpec spec, String policy) {
         if (!Policies.names().contains(policy)) {
-            throw new ParameterException(spec.commandLine(), "no policy '" + policy + "', allowed: " + String.join(", ", Policies.names()));
+            throw new ParameterException(
+                    spec.commandLine(), "no policy '" + policy + "', allowed: " + String.join(", ", Policies.names()));
         }
         return policy;
     }
@@ -46,19 +56,32 @@
         spec.commandLine().getErr().flush();
     }
 
-    @Command(name = "run", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "One run of a scenario; exits with 1 where a rule was broken. One seed gives the same figures each time.")
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "One run of a scenario; exits with 1 where a rule was broken. One seed gives the same figures each time.")
     static final class RunCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "SCENARIO", description = "a scenario file (docs/operate-lab.md)")
         private Path file;
+
         @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
         private long seed;
-        @Option(names = "--policy", defaultValue = "module", split = ",", description = "one or more, apart by commas (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--policy",
+                defaultValue = "module",
+                split = ",",
+                description = "one or more, apart by commas (${DEFAULT-VALUE})")
         private List<String> policies;
+
         @Option(names = "--report", paramLabel = "FILE", description = "writes an HTML page there")
         private Path report;
+
         @Option(names = "--json", description = "one JSON object a policy, and nothing else")
         private boolean json;
 
@@ -76,7 +99,8 @@
                     }
                 }));
                 Run r = runs.get(runs.size() - 1);
-                broken += r.policy().equals("module") ? r.figures().get("broken").longValue() : 0;
+                broken +=
+                        r.policy().equals("module") ? r.figures().get("broken").longValue() : 0;
                 tell(r, (System.nanoTime() - start) / 1e9);
             }
             if (report != null) {
@@ -100,21 +124,34 @@
         }
     }
 
-    @Command(name = "sweep", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "A grid of values by policies by seeds, on all cores; begun anew on the same folder it goes on where it was.")
+    @Command(
+            name = "sweep",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "A grid of values by policies by seeds, on all cores; begun anew on the same folder it goes on where it was.")
     static final class SweepCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "SCENARIO")
         private Path file;
+
         @Parameters(index = "1", paramLabel = "FOLDER", description = "where results go: runs.jsonl, runs.csv")
         private Path folder;
-        @Option(names = "--set", paramLabel = "KIND.NAME.KEY=V,V", description = "values of one key of the scenario; any number")
+
+        @Option(
+                names = "--set",
+                paramLabel = "KIND.NAME.KEY=V,V",
+                description = "values of one key of the scenario; any number")
         private List<String> sets = new ArrayList<>();
+
         @Option(names = "--policy", defaultValue = "module", split = ",", description = "(${DEFAULT-VALUE})")
         private List<String> policies;
+
         @Option(names = "--seeds", defaultValue = "5", description = "how many, from 1 on (${DEFAULT-VALUE})")
         private int seeds;
+
         @Option(names = "--threads", defaultValue = "0", description = "0: one a core (${DEFAULT-VALUE})")
         private int threads;
 
@@ -125,48 +162,71 @@
             for (String s : sets) {
                 int eq = s.indexOf('=');
                 if (eq < 1 || !s.substring(0, eq).matches("[a-z]+\\.[A-Za-z0-9_.-]+\\.[a-z_]+")) {
-                    throw new ParameterException(spec.commandLine(), "--set " + s + ", allowed: KIND.NAME.KEY=VALUE,VALUE");
+                    throw new ParameterException(
+                            spec.commandLine(), "--set " + s + ", allowed: KIND.NAME.KEY=VALUE,VALUE");
                 }
                 grid.put(s.substring(0, eq), List.of(s.substring(eq + 1).split(",")));
             }
             if (seeds < 1 || seeds > 100_000 || threads < 0) {
-                throw new ParameterException(spec.commandLine(), "--seeds " + seeds + " --threads " + threads + ", allowed: 1 to 100000, 0 or more");
+                throw new ParameterException(
+                        spec.commandLine(),
+                        "--seeds " + seeds + " --threads " + threads + ", allowed: 1 to 100000, 0 or more");
             }
             List<Sweep.Cell> cells = Sweep.cells(grid, policies, 1, seeds);
-            int ran = new Sweep(file.toString(), Settings.lines(file, "a scenario"), folder).run(cells, threads == 0 ? Runtime.getRuntime().availableProcessors() : threads,
-                    (done, all) -> bar(spec, done + " of " + all, done / (double) all));
+            int ran = new Sweep(file.toString(), Settings.lines(file, "a scenario"), folder)
+                    .run(
+                            cells,
+                            threads == 0 ? Runtime.getRuntime().availableProcessors() : threads,
+                            (done, all) -> bar(spec, done + " of " + all, done / (double) all));
             spec.commandLine().getErr().println();
             List<Table.Row> rows = Table.read(folder.resolve("runs.jsonl"));
             Files.writeString(folder.resolve("runs.csv"), Table.csv(rows));
-            spec.commandLine().getOut().println(ran + " runs now, " + rows.size() + " in " + folder.resolve("runs.jsonl") + " and runs.csv");
+            spec.commandLine()
+                    .getOut()
+                    .println(ran + " runs now, " + rows.size() + " in " + folder.resolve("runs.jsonl")
+                            + " and runs.csv");
             return 0;
         }
     }
 
-    @Command(name = "compare", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "Paired differences over seeds of two policies (or of two folders), with intervals of 95%%, and which of them are noise.")
+    @Command(
+            name = "compare",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "Paired differences over seeds of two policies (or of two folders), with intervals of 95%%, and which of them are noise.")
     static final class CompareCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "A", description = "FOLDER, or FOLDER:POLICY")
         private String a;
+
         @Parameters(index = "1", paramLabel = "B")
         private String b;
-        @Option(names = "--figure", split = ",", defaultValue = "service,worst_10s,refused,failed,calls,failed_calls,once_p99_ms",
+
+        @Option(
+                names = "--figure",
+                split = ",",
+                defaultValue = "service,worst_10s,refused,failed,calls,failed_calls,once_p99_ms",
                 description = "(${DEFAULT-VALUE})")
         private List<String> figures;
 
         @Override
         public Integer call() throws IOException {
             Map<String, Table.Row> left = rows(a), right = rows(b);
-            List<String> seeds = left.keySet().stream().filter(right::containsKey).toList();
+            List<String> seeds =
+                    left.keySet().stream().filter(right::containsKey).toList();
             if (seeds.isEmpty()) {
-                throw new IOException(a + " and " + b + ": no run in common, allowed: the same scenario values and seeds on both sides");
+                throw new IOException(a + " and " + b
+                        + ": no run in common, allowed: the same scenario values and seeds on both sides");
             }
             PrintWriter out = spec.commandLine().getOut();
             out.printf("%-22s %12s %12s %12s  %s%n", seeds.size() + " pairs", "A", "B", "B - A", "95%");
             for (String f : figures) {
-                Compare c = Compare.of(seeds.stream().mapToDouble(s -> left.get(s).number(f)).toArray(), seeds.stream().mapToDouble(s -> right.get(s).number(f)).toArray());
+                Compare c = Compare.of(
+                        seeds.stream().mapToDouble(s -> left.get(s).number(f)).toArray(),
+                        seeds.stream().mapToDouble(s -> right.get(s).number(f)).toArray());
                 out.printf("%-22s %s%n", f, c.words());
             }
             return 0;
@@ -177,7 +237,8 @@
             int colon = side.lastIndexOf(':');
             String policy = colon > 0 ? side.substring(colon + 1) : "";
             Map<String, Table.Row> all = new LinkedHashMap<>();
-            for (Table.Row r : Table.read(Path.of(colon > 0 ? side.substring(0, colon) : side).resolve("runs.jsonl"))) {
+            for (Table.Row r : Table.read(
+                    Path.of(colon > 0 ? side.substring(0, colon) : side).resolve("runs.jsonl"))) {
                 if (policy.isEmpty() || r.text("policy").equals(policy)) {
                     all.put(r.text("cell").replace(" " + r.text("policy") + " ", " "), r);
                 }
@@ -186,69 +247,127 @@
         }
     }
 
-    @Command(name = "find", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "Searches for the day on which a policy does worst against another, and writes it as a scenario, shrunk.")
+    @Command(
+            name = "find",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "Searches for the day on which a policy does worst against another, and writes it as a scenario, shrunk.")
     static final class FindCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Parameters(index = "0", paramLabel = "SCENARIO", description = "fleet, kinds and clients, to which the day is added")
+
+        @Parameters(
+                index = "0",
+                paramLabel = "SCENARIO",
+                description = "fleet, kinds and clients, to which the day is added")
         private Path file;
+
         @Parameters(index = "1", paramLabel = "FOUND", description = "where the day is written")
         private Path found;
+
         @Option(names = "--policy", defaultValue = "module", description = "(${DEFAULT-VALUE})")
         private String policy;
+
         @Option(names = "--against", defaultValue = "oracle", description = "(${DEFAULT-VALUE})")
         private String against;
+
         @Option(names = "--days", defaultValue = "200", description = "played at the most (${DEFAULT-VALUE})")
         private int days;
+
         @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
         private long seed;
 
         @Override
         public Integer call() throws IOException {
-            Find find = new Find(file.toString(), Settings.lines(file, "a scenario"), known(spec, policy), known(spec, against), seed,
+            Find find = new Find(
+                    file.toString(),
+                    Settings.lines(file, "a scenario"),
+                    known(spec, policy),
+                    known(spec, against),
+                    seed,
                     words -> spec.commandLine().getErr().println(words));
             Find.Found f = find.search(days);
             Files.write(found, f.scenario());
-            spec.commandLine().getOut().printf(Locale.ROOT, "%s: gap %.4f (%s %.4f, %s %.4f), %d days played%n", found, f.gap(), policy, f.policy(), against, f.against(), f.played());
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            Locale.ROOT,
+                            "%s: gap %.4f (%s %.4f, %s %.4f), %d days played%n",
+                            found,
+                            f.gap(),
+                            policy,
+                            f.policy(),
+                            against,
+                            f.against(),
+                            f.played());
             return 0;
         }
     }
 
-    @Command(name = "subsets", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "Ways to choose subsets side by side: how even they are, and what moves as members come and go.")
+    @Command(
+            name = "subsets",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "Ways to choose subsets side by side: how even they are, and what moves as members come and go.")
     static final class SubsetsCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--members", split = ",", defaultValue = "8,30,100,300,1000", description = "sizes of the fleet (${DEFAULT-VALUE})")
+
+        @Option(
+                names = "--members",
+                split = ",",
+                defaultValue = "8,30,100,300,1000",
+                description = "sizes of the fleet (${DEFAULT-VALUE})")
         private List<Integer> members;
+
         @Option(names = "--endpoints", defaultValue = "14", description = "1 to 1000 (${DEFAULT-VALUE})")
         private int endpoints;
+
         @Option(names = "--size", defaultValue = "4", description = "of a subset (${DEFAULT-VALUE})")
         private int size;
 
         @Override
         public Integer call() {
-            if (endpoints < 1 || endpoints > 1_000 || size < 1 || size > endpoints || members.stream().anyMatch(n -> n < 2 || n > 2_000)) {
-                throw new ParameterException(spec.commandLine(), "allowed: 1 to 1000 endpoints, a size of 1 to their number, 2 to 2000 members");
+            if (endpoints < 1
+                    || endpoints > 1_000
+                    || size < 1
+                    || size > endpoints
+                    || members.stream().anyMatch(n -> n < 2 || n > 2_000)) {
+                throw new ParameterException(
+                        spec.commandLine(),
+                        "allowed: 1 to 1000 endpoints, a size of 1 to their number, 2 to 2000 members");
             }
             PrintWriter out = spec.commandLine().getOut();
             List<String> hosts = names("s", endpoints);
-            out.printf("%-10s %8s %14s %12s %12s %14s%n", "way", "members", "max over mean", "one joins", "one leaves", "endpoint fails");
+            out.printf(
+                    "%-10s %8s %14s %12s %12s %14s%n",
+                    "way", "members", "max over mean", "one joins", "one leaves", "endpoint fails");
             for (Subsets.Way way : Subsets.Way.values()) {
                 for (int n : members) {
                     Map<String, List<String>> now = Subsets.all(way, names("m", n), hosts, size);
-                    double joins = Subsets.moved(now, Subsets.all(way, names("m", n + 1), hosts, size)), leaves = 0, fails = 0;
-                    for (int i = 0; i < SAMPLES; i++) {   // whoever it is that goes
+                    double joins = Subsets.moved(now, Subsets.all(way, names("m", n + 1), hosts, size)),
+                            leaves = 0,
+                            fails = 0;
+                    for (int i = 0; i < SAMPLES; i++) { // whoever it is that goes
                         List<String> rest = names("m", n);
                         rest.remove(i * n / SAMPLES);
                         leaves += Subsets.moved(now, Subsets.all(way, rest, hosts, size)) / SAMPLES;
                         List<String> left = names("s", endpoints);
                         left.remove(i * endpoints / SAMPLES);
-                        fails += Subsets.moved(now, Subsets.all(way, names("m", n), left, Math.min(size, left.size()))) / SAMPLES;
+                        fails += Subsets.moved(now, Subsets.all(way, names("m", n), left, Math.min(size, left.size())))
+                                / SAMPLES;
                     }
-                    out.printf(Locale.ROOT, "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n", way.wireName(), n,
-                            Subsets.unevenness(now, hosts), 100 * joins, 100 * leaves, 100 * fails);
+                    out.printf(
+                            Locale.ROOT,
+                            "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n",
+                            way.wireName(),
+                            n,
+                            Subsets.unevenness(now, hosts),
+                            100 * joins,
+                            100 * leaves,
+                            100 * fails);
                 }
             }
             return 0;
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -26,26 +26,45 @@
 import picocli.CommandLine.Spec;
 
 /** The operator's rules on a desk: what is wrong with them, what they cost, what a request would get. */
-@Command(name = "rules", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class, description = "The operator's rules.",
-        subcommands = {RulesCommand.Check.class, RulesCommand.Explain.class, RulesCommand.Eval.class, RulesCommand.Test.class})
+@Command(
+        name = "rules",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        description = "The operator's rules.",
+        subcommands = {
+            RulesCommand.Check.class,
+            RulesCommand.Explain.class,
+            RulesCommand.Eval.class,
+            RulesCommand.Test.class
+        })
 final class RulesCommand extends Commands.Group {
     private static final int MOST_REQUEST = 1 << 20;
 
     /** What all of them are given. */
     static final class Given {
-        @Parameters(index = "0", paramLabel = "FILE", description = "a rules file, or settings whose [rules] names them")
+        @Parameters(
+                index = "0",
+                paramLabel = "FILE",
+                description = "a rules file, or settings whose [rules] names them")
         private Path file;
-        @Option(names = "--config", paramLabel = "JSON", description = "the platform's configuration (RELAY_CONFIG), which names classes and tenants; without "
-                + "it each name that stands in a rule is taken for one")
+
+        @Option(
+                names = "--config",
+                paramLabel = "JSON",
+                description = "the platform's configuration (RELAY_CONFIG), which names classes and tenants; without "
+                        + "it each name that stands in a rule is taken for one")
         private Path config;
 
         Settings settings() throws IOException {
-            boolean settings = Settings.lines(file, "a rules file").stream().anyMatch(l -> l.strip().equals("[rules]"));
+            boolean settings = Settings.lines(file, "a rules file").stream()
+                    .anyMatch(l -> l.strip().equals("[rules]"));
             return settings ? Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS) : Settings.none();
         }
 
         private List<Path> files(Settings s) {
-            return s.tells(Keys.RULES_FILES) ? s.get(Keys.RULES_FILES).stream().map(Path::of).toList() : List.of(file);
+            return s.tells(Keys.RULES_FILES)
+                    ? s.get(Keys.RULES_FILES).stream().map(Path::of).toList()
+                    : List.of(file);
         }
 
         Names names() throws IOException {
@@ -70,11 +89,15 @@
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
             description = "Tells every fault, each with its place; exits with 1 where there is one.")
     static final class Check implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Given given;
 
@@ -83,41 +106,65 @@
             Names names = given.names();
             Loader.Loaded l = given.read(names);
             l.warnings().forEach(w -> spec.commandLine().getErr().println("warning: " + w));
-            spec.commandLine().getOut().println(given.place() + ": no fault, " + l.book().rules() + " rules, at most " + l.bound() + " units a request"
-                    + (names.told() ? "" : " (classes and tenants not checked: no --config)"));
+            spec.commandLine()
+                    .getOut()
+                    .println(given.place() + ": no fault, " + l.book().rules() + " rules, at most " + l.bound()
+                            + " units a request"
+                            + (names.told() ? "" : " (classes and tenants not checked: no --config)"));
             return 0;
         }
     }
 
-    @Command(name = "explain", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "The checked tree of an expression: of each part the type, and the most units that it may cost.")
+    @Command(
+            name = "explain",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "The checked tree of an expression: of each part the type, and the most units that it may cost.")
     static final class Explain implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Given given;
+
         @Parameters(index = "1", paramLabel = "EXPR", description = "such as \"message.class == 'invoice'\"")
         private String expression;
 
         @Override
         public Integer call() throws IOException {
-            spec.commandLine().getOut().println(Loader.explain(expression, Extent.of(given.settings())).stripTrailing());
+            spec.commandLine()
+                    .getOut()
+                    .println(Loader.explain(expression, Extent.of(given.settings()))
+                            .stripTrailing());
             return 0;
         }
     }
 
-    @Command(name = "eval", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-            description = "Reads a request from standard input, as it is on the wire, and tells what it would get and why.")
+    @Command(
+            name = "eval",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
+            description =
+                    "Reads a request from standard input, as it is on the wire, and tells what it would get and why.")
     static final class Eval implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Given given;
-        @Option(names = "--state", defaultValue = "", paramLabel = "WORDS", description = "how the dispatcher stands: rate=N share=N breaker=closed|half_open|open "
-                + "in_flight=N wait=S held=N remaining=S")
+
+        @Option(
+                names = "--state",
+                defaultValue = "",
+                paramLabel = "WORDS",
+                description = "how the dispatcher stands: rate=N share=N breaker=closed|half_open|open "
+                        + "in_flight=N wait=S held=N remaining=S")
         private String state;
+
         @Option(names = "--at", paramLabel = "TIME", description = "such as 2026-12-31T08:00:00Z")
         private String at;
+
         @Option(names = "--json", description = "one JSON object")
         private boolean json;
 
@@ -132,14 +179,19 @@
                 sample.at(at, faults);
             }
             if (!faults.isEmpty()) {
-                throw new SettingsFault(faults.stream().map(f -> "request: " + f).toList());
+                throw new SettingsFault(
+                        faults.stream().map(f -> "request: " + f).toList());
             }
             Map<String, String> got = Example.eval(l, names, sample, trace);
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(Json.quoted(k)).append(':').append(Json.quoted(v)).append(','));
-                out.println(all + "\"why\":[" + String.join(",", trace.stream().map(Json::quoted).toList()) + "]}");
+                got.forEach((k, v) -> all.append(Json.quoted(k))
+                        .append(':')
+                        .append(Json.quoted(v))
+                        .append(','));
+                out.println(all + "\"why\":["
+                        + String.join(",", trace.stream().map(Json::quoted).toList()) + "]}");
             } else {
                 got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
                 trace.forEach(t -> out.println("  " + t));
@@ -148,11 +200,15 @@
         }
     }
 
-    @Command(name = "test", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+    @Command(
+            name = "test",
+            mixinStandardHelpOptions = true,
+            versionProvider = Commands.Version.class,
             description = "Runs the examples that stand beside the rules; exits with 1 where one does not hold.")
     static final class Test implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Given given;
 
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/cloudevents/EventCodec.java
@@ -38,7 +38,7 @@
  * deadline, source and id are the identity. An event is decoded once, into the request that will carry it on.
  */
 final class EventCodec {
-    private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}");   // once: each event meets it
+    private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}"); // once: each event meets it
     static final int MOST_EVENT = 64 << 10, MOST_BATCH = 256 << 10, MOST_EVENTS = 64;
     private static final String BATCH = "application/cloudevents-batch+json", ONE = "application/cloudevents+json";
 
@@ -51,7 +51,9 @@
         /** What the event says of itself, extensions too. */
         Map<String, String> attributes() {
             Map<String, String> all = new HashMap<>();
-            event.getAttributeNames().stream().filter(n -> event.getAttribute(n) != null).forEach(n -> all.put(n, event.getAttribute(n).toString()));
+            event.getAttributeNames().stream()
+                    .filter(n -> event.getAttribute(n) != null)
+                    .forEach(n -> all.put(n, event.getAttribute(n).toString()));
             event.getExtensionNames().forEach(n -> all.put(n, String.valueOf(event.getExtension(n))));
             return all;
         }
@@ -93,7 +95,8 @@
 
     /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
     Decoded decode(Request r, boolean ruled) {
-        String type = r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
+        String type =
+                r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
         if (type.equals(BATCH)) {
             return batch(r.body(), ruled);
         }
@@ -115,8 +118,8 @@
             }
         }
         if (type.startsWith("application/cloudevents") || !binary) {
-            return new Decoded(false, List.of(Item.fault(415, "neither binary mode (ce- headers) nor " + ONE
-                    + " nor " + BATCH)));
+            return new Decoded(
+                    false, List.of(Item.fault(415, "neither binary mode (ce- headers) nor " + ONE + " nor " + BATCH)));
         }
         if (r.header("ce-specversion").isEmpty()) {
             return new Decoded(false, List.of(Item.fault(400, "ce-specversion is missing")));
@@ -148,7 +151,8 @@
             JsonNode event = json.readTree(body);
             String fault = EventRules.fault(event);
             byte[] told = json.writeValueAsBytes(told(event));
-            return fault.isEmpty() ? one(() -> format.deserialize(told), body.length, ruled)
+            return fault.isEmpty()
+                    ? one(() -> format.deserialize(told), body.length, ruled)
                     : new Decoded(false, List.of(Item.fault(400, fault)));
         } catch (IOException e) {
             return new Decoded(false, List.of(Item.fault(400, "not JSON: " + firstLine(e))));
@@ -158,7 +162,9 @@
     /** Without the attributes that are null, which is to say not set (JSON format, section 2.2): the SDK writes "null". */
     private static JsonNode told(JsonNode event) {
         if (event instanceof ObjectNode object) {
-            object.properties().removeIf(field -> field.getValue().isNull() && !field.getKey().equals("data"));
+            object.properties()
+                    .removeIf(field ->
+                            field.getValue().isNull() && !field.getKey().equals("data"));
         }
         return event;
     }
@@ -184,8 +190,15 @@
             for (JsonNode event : list) {
                 byte[] bytes = json.writeValueAsBytes(told(event));
                 String fault = EventRules.fault(event);
-                items.add(!fault.isEmpty() ? new Item(event.path("source").asText(), event.path("id").asText(), null, 400, fault)
-                        : item(() -> format.deserialize(bytes), bytes.length, ruled));
+                items.add(
+                        !fault.isEmpty()
+                                ? new Item(
+                                        event.path("source").asText(),
+                                        event.path("id").asText(),
+                                        null,
+                                        400,
+                                        fault)
+                                : item(() -> format.deserialize(bytes), bytes.length, ruled));
             }
             return new Decoded(true, items);
         } catch (IOException e) {
@@ -200,11 +213,13 @@
         CloudEvent event;
         try {
             event = reading.read();
-        } catch (RuntimeException e) {   // the SDK's faults share no narrower type
+        } catch (RuntimeException e) { // the SDK's faults share no narrower type
             return Item.fault(400, firstLine(e));
         }
         String source = event.getSource().toString(), fault = EventRules.fault(event);
-        return fault.isEmpty() ? message(event, source, event.getId(), ruled) : new Item(source, event.getId(), null, 400, fault);
+        return fault.isEmpty()
+                ? message(event, source, event.getId(), ruled)
+                : new Item(source, event.getId(), null, 400, fault);
     }
 
     private static String firstLine(Exception e) {
@@ -224,11 +239,14 @@
         if (!DESTINATION.matcher(destination).matches() && !(ruled && destination.isEmpty())) {
             return new Item(source, id, null, 400, "destination is missing or no number");
         }
-        long deadline = clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
+        long deadline =
+                clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
         String told = extension(event, "deadline");
         if (!told.isEmpty()) {
             try {
-                deadline = Math.min(deadline, clock.fromWall(OffsetDateTime.parse(told).toInstant().toEpochMilli()));
+                deadline = Math.min(
+                        deadline,
+                        clock.fromWall(OffsetDateTime.parse(told).toInstant().toEpochMilli()));
             } catch (DateTimeException | ArithmeticException e) {
                 return new Item(source, id, null, 400, "deadline is no RFC 3339 time");
             }
@@ -243,13 +261,31 @@
             return new Item(source, id, null, 413, "more than " + MOST_EVENT + " bytes");
         }
         String identity = identity(source, id);
-        return new Item(source, id, new Stream.Message(identity, EventFront.NUMBER, cls,
-                tenants.indexOf(extension(event, "tenant")), destination.isEmpty() ? -1 : Long.parseLong(destination), deadline,
-                clock.now() + rememberNs, false, false, identity, body), 0, "", event);
+        return new Item(
+                source,
+                id,
+                new Stream.Message(
+                        identity,
+                        EventFront.NUMBER,
+                        cls,
+                        tenants.indexOf(extension(event, "tenant")),
+                        destination.isEmpty() ? -1 : Long.parseLong(destination),
+                        deadline,
+                        clock.now() + rememberNs,
+                        false,
+                        false,
+                        identity,
+                        body),
+                0,
+                "",
+                event);
     }
 
     private long longest() {
-        return settings.classes().stream().mapToLong(Sender.MessageClass::deadlineNs).max().orElse(0);
+        return settings.classes().stream()
+                .mapToLong(Sender.MessageClass::deadlineNs)
+                .max()
+                .orElse(0);
     }
 
     private static String extension(CloudEvent event, String name) {
--- a/src/main/java/elderseam/cloudevents/EventConfig.java
+++ b/src/main/java/elderseam/cloudevents/EventConfig.java
@@ -16,14 +16,27 @@
  * authority, for which names and where certificates are had. {@code origins} may validate themselves as web hooks, to
  * send at {@code rate} a minute (0: any).
  */
-public record EventConfig(String listen, long rememberNs, String directory, List<String> names, Path folder,
-                          String challenges, List<String> origins, int rate) {
+public record EventConfig(
+        String listen,
+        long rememberNs,
+        String directory,
+        List<String> names,
+        Path folder,
+        String challenges,
+        List<String> origins,
+        int rate) {
     public static EventConfig of(Settings s) {
         String listen = s.get(Keys.EVENTS_LISTEN), challenges = s.get(Keys.ACME_CHALLENGES);
-        return new EventConfig(listen.equals("off") ? "" : listen, s.get(Keys.EVENTS_REMEMBER_S) * 1_000 * Clock.MS,
-                s.get(Keys.ACME_DIRECTORY), s.get(Keys.ACME_NAMES), Path.of(s.get(Keys.ACME_FOLDER)),
+        return new EventConfig(
+                listen.equals("off") ? "" : listen,
+                s.get(Keys.EVENTS_REMEMBER_S) * 1_000 * Clock.MS,
+                s.get(Keys.ACME_DIRECTORY),
+                s.get(Keys.ACME_NAMES),
+                Path.of(s.get(Keys.ACME_FOLDER)),
                 challenges.equals("off") ? "" : challenges,
-                s.get(Keys.EVENTS_WEBHOOK_ORIGINS).stream().map(o -> o.toLowerCase(Locale.ROOT)).toList(),
+                s.get(Keys.EVENTS_WEBHOOK_ORIGINS).stream()
+                        .map(o -> o.toLowerCase(Locale.ROOT))
+                        .toList(),
                 s.get(Keys.EVENTS_WEBHOOK_RATE).intValue());
     }
 
@@ -37,9 +50,14 @@
         }
         String listen = p.getProperty("listen", "off").strip();
         long seconds = Long.parseLong(p.getProperty("remember_s", "3600").strip());
-        return new EventConfig(listen.equals("off") ? "" : listen, seconds * 1_000 * Clock.MS,
-                p.getProperty("acme.directory", "").strip(), List.of(p.getProperty("acme.names", "").strip().split(" +")),
+        return new EventConfig(
+                listen.equals("off") ? "" : listen,
+                seconds * 1_000 * Clock.MS,
+                p.getProperty("acme.directory", "").strip(),
+                List.of(p.getProperty("acme.names", "").strip().split(" +")),
                 Path.of(p.getProperty("acme.folder", "certificates").strip()),
-                p.getProperty("acme.challenges", "").strip(), List.of(), 0);
+                p.getProperty("acme.challenges", "").strip(),
+                List.of(),
+                0);
     }
 }
--- a/src/main/java/elderseam/cloudevents/EventFront.java
+++ b/src/main/java/elderseam/cloudevents/EventFront.java
@@ -31,8 +31,8 @@
         static Verdict of(Answer answer) {
             return switch (answer.kind()) {
                 case DELIVERED -> new Verdict(200, "delivered", 0, "");
-                case REFUSED -> new Verdict(503, "refused", Math.max(1, (answer.againNs() + 999_999_999L)
-                        / 1_000_000_000L), "");
+                case REFUSED ->
+                    new Verdict(503, "refused", Math.max(1, (answer.againNs() + 999_999_999L) / 1_000_000_000L), "");
                 case FAILED, OVER -> new Verdict(502, "failed", 0, "");
             };
         }
@@ -43,7 +43,7 @@
     private final EventCodec codec;
     private final WebHook webHook;
     private final Map<String, List<Consumer<Verdict>>> waiting = new HashMap<>();
-    private Rulings rulings;   // null while there are none
+    private Rulings rulings; // null while there are none
     private int waiters;
 
     /** {@code rulings}: the operator's rules, or null. */
@@ -100,7 +100,9 @@
             then.accept(new Verdict(503, "refused", 1, "too many requests wait for their answers"));
             return;
         }
-        Rulings.Ruled ruled = rulings == null ? null : rulings.rule(item.message(), new RequestFacts("events", r, item.attributes(), item.data()));
+        Rulings.Ruled ruled = rulings == null
+                ? null
+                : rulings.rule(item.message(), new RequestFacts("events", r, item.attributes(), item.data()));
         if (ruled != null && !ruled.fault().isEmpty()) {
             then.accept(new Verdict(400, "invalid", 0, ruled.fault()));
             return;
@@ -141,8 +143,11 @@
     }
 
     private ObjectNode node(EventCodec.Item item, Verdict verdict) {
-        ObjectNode n = json.createObjectNode().put("source", item.source()).put("id", item.id())
-                .put("status", verdict.status).put("code", verdict.code);
+        ObjectNode n = json.createObjectNode()
+                .put("source", item.source())
+                .put("id", item.id())
+                .put("status", verdict.status)
+                .put("code", verdict.code);
         if (verdict.again > 0) {
             n.put("retry_after", verdict.again);
         }
--- a/src/main/java/elderseam/cloudevents/EventRules.java
+++ b/src/main/java/elderseam/cloudevents/EventRules.java
@@ -13,7 +13,7 @@
  */
 final class EventRules {
     private static final Set<String> NOT_EXTENSIONS = Set.of("data", "data_base64");
-    private static final Pattern NAME = Pattern.compile("[a-z0-9]+"),   // once: each event meets them
+    private static final Pattern NAME = Pattern.compile("[a-z0-9]+"), // once: each event meets them
             MEDIA_TYPE = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+/[!#$%&'*+.^_`|~0-9A-Za-z-]+ *(;[ -~]*)?");
 
     private EventRules() {}
@@ -47,7 +47,8 @@
             }
         }
         for (String name : event.getExtensionNames()) {
-            String fault = name(name).isEmpty() ? HeaderText.illegal(String.valueOf(event.getExtension(name))) : name(name);
+            String fault =
+                    name(name).isEmpty() ? HeaderText.illegal(String.valueOf(event.getExtension(name))) : name(name);
             if (!fault.isEmpty()) {
                 return "extension " + name + " holds " + fault;
             }
@@ -88,8 +89,10 @@
             if (!value.isNull() && !value.isTextual() && !value.isBoolean() && !whole) {
                 return "attribute " + name + " is neither a string, a boolean nor a whole number of 32 bits";
             }
-            if (Set.of("id", "source", "type", "specversion", "subject", "time", "dataschema", "datacontenttype").contains(name)
-                    && !value.isNull() && !value.isTextual()) {
+            if (Set.of("id", "source", "type", "specversion", "subject", "time", "dataschema", "datacontenttype")
+                            .contains(name)
+                    && !value.isNull()
+                    && !value.isTextual()) {
                 return name + " is no string";
             }
         }
--- a/src/main/java/elderseam/cloudevents/EventUpstream.java
+++ b/src/main/java/elderseam/cloudevents/EventUpstream.java
@@ -28,8 +28,15 @@
     @Override
     public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
         EventCodec.Outgoing o = EventCodec.outgoing(m.body());
-        return connections.send(hosts.apply(host), new Call("POST", "/events", o.headers(), o.payload()), connectBy, answerBy,
-                attempt::mayLeave, attempt::written, r -> attempt.answeredLate(meaning(r)), r -> attempt.ended(meaning(r)))::abandon;
+        return connections.send(
+                hosts.apply(host),
+                new Call("POST", "/events", o.headers(), o.payload()),
+                connectBy,
+                answerBy,
+                attempt::mayLeave,
+                attempt::written,
+                r -> attempt.answeredLate(meaning(r)),
+                r -> attempt.ended(meaning(r)))::abandon;
     }
 
     @Override
--- a/src/main/java/elderseam/cloudevents/HeaderText.java
+++ b/src/main/java/elderseam/cloudevents/HeaderText.java
@@ -20,7 +20,7 @@
     static String encode(String value) {
         StringBuilder out = new StringBuilder(value.length() + 16);
         for (int i = 0; i < value.length(); ) {
-            int c = value.codePointAt(i);   // a surrogate pair is one character
+            int c = value.codePointAt(i); // a surrogate pair is one character
             i += Character.charCount(c);
             if (c > 0x20 && c < 0x7f && c != '"' && c != '%') {
                 out.append((char) c);
@@ -56,8 +56,11 @@
         }
         String value;
         try {
-            value = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-                    .decode(ByteBuffer.wrap(octets, 0, n)).toString();
+            value = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .onMalformedInput(CodingErrorAction.REPORT)
+                    .decode(ByteBuffer.wrap(octets, 0, n))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new IllegalArgumentException("percent-encoded octets that are no UTF-8");
         }
--- a/src/main/java/elderseam/cloudevents/WebHook.java
+++ b/src/main/java/elderseam/cloudevents/WebHook.java
@@ -27,7 +27,7 @@
         }
         boolean all = origins.contains("*");
         if (!all && !origins.contains(origin.toLowerCase(Locale.ROOT))) {
-            return new Reply(403, headers);   // without an allowed origin nothing is granted
+            return new Reply(403, headers); // without an allowed origin nothing is granted
         }
         String asked = r.header("WebHook-Request-Rate");
         if (!asked.isEmpty() && !asked.matches("[1-9]\\d{0,8}|\\*")) {
@@ -35,9 +35,13 @@
         }
         headers.put("WebHook-Allowed-Origin", all ? "*" : origin);
         if (!asked.isEmpty() || rate > 0) {
-            headers.put("WebHook-Allowed-Rate", rate == 0 ? "*"
-                    : asked.isEmpty() || asked.equals("*") ? Integer.toString(rate)
-                    : Integer.toString(Math.min(rate, Integer.parseInt(asked))));
+            headers.put(
+                    "WebHook-Allowed-Rate",
+                    rate == 0
+                            ? "*"
+                            : asked.isEmpty() || asked.equals("*")
+                                    ? Integer.toString(rate)
+                                    : Integer.toString(Math.min(rate, Integer.parseInt(asked))));
         }
         return new Reply(200, headers);
     }
--- a/src/main/java/elderseam/control/Command.java
+++ b/src/main/java/elderseam/control/Command.java
@@ -27,7 +27,12 @@
      * first twelve digits of what whoever proposes it read there.
      */
     record Config(Verb verb, long a, long b, String hash, String path, String note) implements Command {
-        public enum Verb { STATUS, DIFF, PROPOSE, ROLLBACK }
+        public enum Verb {
+            STATUS,
+            DIFF,
+            PROPOSE,
+            ROLLBACK
+        }
     }
 
     /** No command; {@code why}: what is wrong, and what is allowed. */
@@ -57,21 +62,27 @@
             case "REJOIN" -> alone ? new Rejoin() : noWords("REJOIN");
             case "DETACH" -> id != null ? new Detach(id) : new Fault("DETACH takes one id");
             case "ATTACH" -> id != null ? new Attach(id) : new Fault("ATTACH takes one id");
-            case "" -> new Fault("the line is empty; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
-            default -> new Fault("unknown call; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
+            case "" ->
+                new Fault(
+                        "the line is empty; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
+            default ->
+                new Fault("unknown call; allowed: PING, INFO, DETACH ID, ATTACH ID, LAMEDUCK, REJOIN, FLEET, CONFIG");
         };
     }
 
     private static Command fleet(String[] words) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         for (String word : words) {
-            if (!word.matches("[A-Za-z0-9._-]{1,64}=[0-9.]{7,15}:\\d{1,5}") || Integer.parseInt(word.substring(word.lastIndexOf(':') + 1)) > 65_535) {
+            if (!word.matches("[A-Za-z0-9._-]{1,64}=[0-9.]{7,15}:\\d{1,5}")
+                    || Integer.parseInt(word.substring(word.lastIndexOf(':') + 1)) > 65_535) {
                 return new Fault("'" + word + "' is no member, allowed: NAME=ADDRESS:PORT");
             }
             String address = word.substring(word.indexOf('=') + 1);
             int colon = address.lastIndexOf(':');
-            members.put(word.substring(0, word.indexOf('=')),
-                    InetSocketAddress.createUnresolved(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+            members.put(
+                    word.substring(0, word.indexOf('=')),
+                    InetSocketAddress.createUnresolved(
+                            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
         }
         return new Fleet(members);
     }
@@ -83,12 +94,23 @@
             return new Config(Config.Verb.STATUS, 0, 0, "", "", "");
         } else if (w[0].equals("DIFF") && w.length == 3 && w[1].matches(number) && w[2].matches(number)) {
             return new Config(Config.Verb.DIFF, Long.parseLong(w[1]), Long.parseLong(w[2]), "", "", "");
-        } else if (w[0].equals("PROPOSE") && w.length == 5 && w[1].matches(number) && w[2].matches("[0-9a-f]{12}") && w[3].startsWith("/")) {
+        } else if (w[0].equals("PROPOSE")
+                && w.length == 5
+                && w[1].matches(number)
+                && w[2].matches("[0-9a-f]{12}")
+                && w[3].startsWith("/")) {
             return new Config(Config.Verb.PROPOSE, Long.parseLong(w[1]), 0, w[2], w[3], w[4]);
         } else if (w[0].equals("ROLLBACK") && w.length >= 3 && w[1].matches(number)) {
-            return new Config(Config.Verb.ROLLBACK, Long.parseLong(w[1]), 0, "", "", rest.substring(rest.indexOf(w[1]) + w[1].length()).strip());
+            return new Config(
+                    Config.Verb.ROLLBACK,
+                    Long.parseLong(w[1]),
+                    0,
+                    "",
+                    "",
+                    rest.substring(rest.indexOf(w[1]) + w[1].length()).strip());
         }
-        return new Fault("allowed: CONFIG, CONFIG DIFF A B, CONFIG PROPOSE PARENT HASH /FILE NOTE, CONFIG ROLLBACK VERSION NOTE");
+        return new Fault(
+                "allowed: CONFIG, CONFIG DIFF A B, CONFIG PROPOSE PARENT HASH /FILE NOTE, CONFIG ROLLBACK VERSION NOTE");
     }
 
     private static Fault noWords(String name) {
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -23,20 +23,27 @@
  * may stay open are bounded; a caller that stalls is a buffer and a timer on the I/O thread, and delays nobody.
  */
 public final class ControlServer {
-    private static final int MOST_OPEN = 24;                        // then the oldest gives way
-    private static final long OPEN_NS = 6_000 * Clock.MS;           // for the line to be there, and the answer taken
+    private static final int MOST_OPEN = 24; // then the oldest gives way
+    private static final long OPEN_NS = 6_000 * Clock.MS; // for the line to be there, and the answer taken
 
     private final Io io;
     private final AcceptingChannel<StreamConnection> accepting;
     private final ByteBuffer buffer = ByteBuffer.allocate(Command.MOST + 2);
-    private final Set<Caller> open = new LinkedHashSet<>();   // oldest first
+    private final Set<Caller> open = new LinkedHashSet<>(); // oldest first
     private Function<Command, Verdict> handler = c -> Verdict.no("starting");
 
     public ControlServer(Io io, InetSocketAddress address) throws IOException {
         this.io = io;
         ChannelListener<StreamConnection> opened = Caller::new;
-        accepting = io.worker().createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(opened), OptionMap.builder()
-                .set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 64).getMap());
+        accepting = io.worker()
+                .createStreamConnectionServer(
+                        address,
+                        ChannelListeners.openListenerAdapter(opened),
+                        OptionMap.builder()
+                                .set(Options.REUSE_ADDRESSES, true)
+                                .set(Options.TCP_NODELAY, true)
+                                .set(Options.BACKLOG, 64)
+                                .getMap());
         accepting.resumeAccepts();
     }
 
@@ -54,7 +61,7 @@
         private final StreamConnection channel;
         private final XnioExecutor.Key timer;
         private final StringBuilder line = new StringBuilder(32);
-        private ByteBuffer answer;   // once there is one, what comes is passed over
+        private ByteBuffer answer; // once there is one, what comes is passed over
 
         Caller(StreamConnection channel) {
             this.channel = channel;
@@ -102,7 +109,7 @@
             Verdict verdict;
             try {
                 verdict = handler.apply(command);
-            } catch (RuntimeException e) {   // one caller's fault must not reach the thread
+            } catch (RuntimeException e) { // one caller's fault must not reach the thread
                 e.printStackTrace();
                 verdict = Verdict.no("a fault of this program; its log has it");
             }
--- a/src/main/java/elderseam/control/Operators.java
+++ b/src/main/java/elderseam/control/Operators.java
@@ -16,8 +16,14 @@
     private final Function<Command.Config, Verdict> config;
 
     /** {@code drain} and {@code rejoin}: what follows for the connections of clients; {@code fleet} answers for the leases, and {@code config} for the versions, or is null. */
-    public Operators(Relay relay, Lifecycle life, List<String> classes, Runnable drain, Runnable rejoin,
-                     Function<Command.Fleet, Verdict> fleet, Function<Command.Config, Verdict> config) {
+    public Operators(
+            Relay relay,
+            Lifecycle life,
+            List<String> classes,
+            Runnable drain,
+            Runnable rejoin,
+            Function<Command.Fleet, Verdict> fleet,
+            Function<Command.Config, Verdict> config) {
         this.relay = relay;
         this.life = life;
         this.classes = classes;
@@ -43,7 +49,9 @@
         } else if (command instanceof Command.Fleet f) {
             return fleet == null ? Verdict.no("this process is in no fleet; fleet.listen is off") : fleet.apply(f);
         } else if (command instanceof Command.Config c) {
-            return config == null ? Verdict.no("this process agrees on no versions; fleet.versions_bound_ms is 0") : config.apply(c);
+            return config == null
+                    ? Verdict.no("this process agrees on no versions; fleet.versions_bound_ms is 0")
+                    : config.apply(c);
         } else if (command instanceof Command.LameDuck) {
             if (life.drain()) {
                 drain.run();
@@ -54,7 +62,7 @@
             rejoin.run();
             return Verdict.yes(word());
         }
-        return life.state() == Lifecycle.State.STARTING ? Verdict.no(word()) : Verdict.yes(word());   // PING
+        return life.state() == Lifecycle.State.STARTING ? Verdict.no(word()) : Verdict.yes(word()); // PING
     }
 
     private String word() {
--- a/src/main/java/elderseam/control/Verdict.java
+++ b/src/main/java/elderseam/control/Verdict.java
@@ -13,7 +13,8 @@
     }
 
     String encoded() {
-        StringBuilder text = new StringBuilder(64).append(yes ? "200 " : "400 ").append(word).append('\n');
+        StringBuilder text =
+                new StringBuilder(64).append(yes ? "200 " : "400 ").append(word).append('\n');
         lines.forEach(line -> text.append(line).append('\n'));
         return text.toString();
     }
--- a/src/main/java/elderseam/core/Attempt.java
+++ b/src/main/java/elderseam/core/Attempt.java
@@ -9,8 +9,7 @@
     boolean mayLeave();
 
     /** Its last byte was handed to the network: from now on it may run. */
-    default void written() {
-    }
+    default void written() {}
 
     /** Its end, once. */
     void ended(UpstreamRequest.End end);
--- a/src/main/java/elderseam/core/Attempts.java
+++ b/src/main/java/elderseam/core/Attempts.java
@@ -17,10 +17,17 @@
     private final Loop loop;
     private final Figures figures;
     private final Map<Byte, Upstream> upstreams = new HashMap<>();
-    private Map<Long, int[]> outs;      // calls out by destination, where anybody asks
+    private Map<Long, int[]> outs; // calls out by destination, where anybody asks
     private int out;
 
-    Attempts(Relay relay, Sender.Settings settings, Facade facade, Journal journal, Clock clock, Loop loop, Figures figures) {
+    Attempts(
+            Relay relay,
+            Sender.Settings settings,
+            Facade facade,
+            Journal journal,
+            Clock clock,
+            Loop loop,
+            Figures figures) {
         this.relay = relay;
         this.settings = settings;
         this.facade = facade;
@@ -58,7 +65,7 @@
         out += more;
         if (outs != null) {
             int[] n = outs.computeIfAbsent(destination, d -> new int[1]);
-            n[0] = Math.max(0, n[0] + more);   // those that were out before the counting began
+            n[0] = Math.max(0, n[0] + more); // those that were out before the counting began
             if (n[0] == 0) {
                 outs.remove(destination);
             }
@@ -71,9 +78,15 @@
         Leg leg = out(s, s.attempts++, host, start);
         long by = Math.min(answerBy, s.message.deadline() - Math.min(Relay.TELLING_NS, Math.max(0, left / 2)));
         if (journal.sent(s.id())) {
-            s.out = upstreams.get(s.message.front()).send(s.message, host,
-                    Math.min(by, start + settings.connections().timeoutNs()), by, leg);
-        } else {   // unrecorded, it must not leave; held back here, it tells the module nothing of the host
+            s.out = upstreams
+                    .get(s.message.front())
+                    .send(
+                            s.message,
+                            host,
+                            Math.min(by, start + settings.connections().timeoutNs()),
+                            by,
+                            leg);
+        } else { // unrecorded, it must not leave; held back here, it tells the module nothing of the host
             loop.at(start, () -> leg.ended(End.unanswered(Progress.NOT_CONNECTED, Status.HELD)));
         }
     }
--- a/src/main/java/elderseam/core/Copies.java
+++ b/src/main/java/elderseam/core/Copies.java
@@ -49,8 +49,19 @@
 
     /** It waits for the end of that one from now on, journalled before anybody is told so; false where there is no room for that. */
     boolean join(Stream.Message m, Stream first) {
-        Stream.Message copy = new Stream.Message(m.id(), m.front(), m.cls(), m.tenant(), m.destination(), m.deadline(), m.rememberUntil(), m.again(),
-                m.heedsWindow(), "", new byte[0], first.message.same());   // nobody will send it
+        Stream.Message copy = new Stream.Message(
+                m.id(),
+                m.front(),
+                m.cls(),
+                m.tenant(),
+                m.destination(),
+                m.deadline(),
+                m.rememberUntil(),
+                m.again(),
+                m.heedsWindow(),
+                "",
+                new byte[0],
+                first.message.same()); // nobody will send it
         if (!journal.joined(copy)) {
             return false;
         }
--- a/src/main/java/elderseam/core/Detached.java
+++ b/src/main/java/elderseam/core/Detached.java
@@ -22,7 +22,7 @@
 
     private final Set<String> detached;
     private final Map<String, Endpoint> listed = new LinkedHashMap<>();
-    private final Set<String> past = new LinkedHashSet<>();   // oldest first
+    private final Set<String> past = new LinkedHashSet<>(); // oldest first
 
     Detached(Collection<String> detached) {
         this.detached = new HashSet<>(detached);
@@ -57,7 +57,8 @@
 
     private Endpoint seen(Endpoint e) {
         return e.listing() == Listing.READY && detached.contains(e.address())
-                ? new Endpoint(e.address(), e.destination(), e.kind(), e.zone(), Listing.DRAINING, e.weight()) : e;
+                ? new Endpoint(e.address(), e.destination(), e.kind(), e.zone(), Listing.DRAINING, e.weight())
+                : e;
     }
 
     /** Whether it is, or was, on the list, or is detached. */
--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/Facade.java
@@ -71,17 +71,26 @@
 
     private static Sender.Message message(Stream s) {
         Stream.Message m = s.message;
-        return new Sender.Message(m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(),
-                m.heedsWindow());
+        return new Sender.Message(
+                m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(), m.heedsWindow());
     }
 
     /** An attempt of a stream has ended. {@code over}: nothing more is owed. */
     void report(long time, String id, int attempt, String host, long start, UpstreamRequest.End end) {
         at(time);
         boolean over = end.status() == UpstreamRequest.Status.DELIVERED || end.status() == UpstreamRequest.Status.OVER;
-        brain.outcome(now, new Sender.Outcome(id, attempt, host, result(end), now - start, end.waitNs(),
-                end.status() == UpstreamRequest.Status.NO_SLOT, over,
-                new Sender.Report(end.shareLeft(), end.limitPerS())));
+        brain.outcome(
+                now,
+                new Sender.Outcome(
+                        id,
+                        attempt,
+                        host,
+                        result(end),
+                        now - start,
+                        end.waitNs(),
+                        end.status() == UpstreamRequest.Status.NO_SLOT,
+                        over,
+                        new Sender.Report(end.shareLeft(), end.limitPerS())));
     }
 
     private static Result result(UpstreamRequest.End end) {
--- a/src/main/java/elderseam/core/Figures.java
+++ b/src/main/java/elderseam/core/Figures.java
@@ -25,7 +25,7 @@
             case DELIVERED -> c.success++;
             case REFUSED -> c.busy++;
             case FAILED -> c.failure++;
-            case OVER -> { }
+            case OVER -> {}
         }
     }
 
--- a/src/main/java/elderseam/core/Front.java
+++ b/src/main/java/elderseam/core/Front.java
@@ -6,6 +6,5 @@
     void ended(Stream.Message message, Answer answer);
 
     /** No further stream ends just now: what its clients are to hear may leave, before any call that begins. */
-    default void tell() {
-    }
+    default void tell() {}
 }
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -26,7 +26,7 @@
 
     private static final long LEAST_DISK = 1 << 20;
     private static final String LEARNED = "learned";
-    private static final int LAYOUT = 1;   // of the ledger that the module writes; another one is not read
+    private static final int LAYOUT = 1; // of the ledger that the module writes; another one is not read
     private static final long KEEP_NS = 1_000 * Clock.MS;
 
     private final Relay relay;
@@ -36,8 +36,8 @@
     private final Clock clock;
     private final Loop loop;
     private Learned learned;
-    private final Set<String> adopted = new HashSet<>();   // out at the process before this one
-    private Consumer<Passed> successor;   // once another process has taken over: it decides, this one tells it
+    private final Set<String> adopted = new HashSet<>(); // out at the process before this one
+    private Consumer<Passed> successor; // once another process has taken over: it decides, this one tells it
 
     Handover(Relay relay, Attempts attempts, Facade facade, Journal journal, Clock clock, Loop loop) {
         this.relay = relay;
@@ -58,8 +58,9 @@
         LedgerBytes.Writer learned = new LedgerBytes.Writer(clock);
         facade.carry(clock.now(), learned);
         List<Out> calls = new ArrayList<>();
-        relay.streams().filter(s -> s.out != null).forEach(s -> calls.add(
-                new Out(s.id(), s.leg.number, s.leg.host, clock.now() - s.leg.start)));
+        relay.streams()
+                .filter(s -> s.out != null)
+                .forEach(s -> calls.add(new Out(s.id(), s.leg.number, s.leg.host, clock.now() - s.leg.start)));
         successor = to;
         journal.letGo();
         return new Estate(learned.bytes(), calls);
@@ -134,7 +135,10 @@
 
     private int shape() {
         Sender.Settings s = facade.settings();
-        return LAYOUT << 24 | s.classes().size() << 16 | s.kinds().size() << 8 | s.tenantRates().size();
+        return LAYOUT << 24
+                | s.classes().size() << 16
+                | s.kinds().size() << 8
+                | s.tenantRates().size();
     }
 
     private void keepLearned() {
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -33,8 +33,8 @@
     private long detachedBytes;
     private long size;
     private long live;
-    private boolean letGo;           // another process has it
-    private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
+    private boolean letGo; // another process has it
+    private int sweepAt = 1_024; // entries, at which those no longer kept are looked for
 
     public Journal(Path folder, long capBytes, Clock clock) throws IOException {
         this(new JournalFiles(folder), capBytes, clock);
@@ -59,7 +59,9 @@
     public boolean taken(Stream.Message m) {
         byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
-        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap || key.length > 0 && !append(key) || !append(record)) {
+        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap
+                || key.length > 0 && !append(key)
+                || !append(record)) {
             return false;
         }
         keys.put(m.id(), m.same());
@@ -168,7 +170,7 @@
         e.owed = owed;
         append(e.end(m.id()));
         putEnd(m.id(), e);
-        if (entries.size() >= sweepAt) {   // not only when the file is full: ids are new for ever
+        if (entries.size() >= sweepAt) { // not only when the file is full: ids are new for ever
             sweep();
             sweepAt = Math.max(1_024, 2 * entries.size());
         }
@@ -204,7 +206,7 @@
     public void told(String id) {
         JournalEntry e = entries.get(id);
         if (e != null && e.owed) {
-            append(encode(JournalRecords.TOLD, id, out -> { }));
+            append(encode(JournalRecords.TOLD, id, out -> {}));
             toldOf(id, e);
         }
     }
@@ -232,7 +234,10 @@
 
     /** Those that wait for the end of another, as an earlier process left them. */
     List<Stream.Message> joined() {
-        return entries.values().stream().filter(e -> e.joined && e.answer == null).map(e -> e.message).toList();
+        return entries.values().stream()
+                .filter(e -> e.joined && e.answer == null)
+                .map(e -> e.message)
+                .toList();
     }
 
     /** The messages without an end, as an earlier process left them, but for those whose call it still has out. */
@@ -240,7 +245,7 @@
         List<Stream> back = new ArrayList<>();
         entries.forEach((id, e) -> {
             if (e.answer == null && !e.joined && !out.contains(id)) {
-                e.result(e.outMs != 0);   // an attempt that was out may have run
+                e.result(e.outMs != 0); // an attempt that was out may have run
                 back.add(back(e));
             }
         });
@@ -249,7 +254,11 @@
 
     /** Those of these that are unfinished; their calls are out. */
     List<Stream> out(Set<String> ids) {
-        return ids.stream().map(entries::get).filter(e -> e != null && e.answer == null && !e.joined).map(this::back).toList();
+        return ids.stream()
+                .map(entries::get)
+                .filter(e -> e != null && e.answer == null && !e.joined)
+                .map(this::back)
+                .toList();
     }
 
     private Stream back(JournalEntry e) {
@@ -271,8 +280,7 @@
         entries.forEach((id, e) -> {
             if (e.owed) {
                 long keep = clock.fromWall(e.keepMs);
-                owed.put(new Stream.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "",
-                        new byte[0]), e.answer);
+                owed.put(new Stream.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "", new byte[0]), e.answer);
             }
         });
         return owed;
@@ -296,7 +304,7 @@
             return true;
         } catch (IOException e) {
             System.err.println("journal: " + e);
-            return false;   // what was half written stays behind the end and is written over
+            return false; // what was half written stays behind the end and is written over
         }
     }
 
@@ -361,7 +369,20 @@
                 byte[] body = new byte[in.readInt()];
                 in.readFully(body);
                 String same = type == JournalRecords.JOINED ? in.readUTF() : keys.of(id) == null ? "" : keys.of(id);
-                put(new Stream.Message(id, front, cls, tenant, destination, deadline, keep, again, heedsWindow, key, body, same),
+                put(
+                        new Stream.Message(
+                                id,
+                                front,
+                                cls,
+                                tenant,
+                                destination,
+                                deadline,
+                                keep,
+                                again,
+                                heedsWindow,
+                                key,
+                                body,
+                                same),
                         HEAD + bytes);
                 entries.get(id).joined = type == JournalRecords.JOINED;
             }
@@ -404,7 +425,7 @@
         try {
             compact();
         } catch (IOException e) {
-            System.err.println("journal: " + e);   // the old file stands, and is appended to as before
+            System.err.println("journal: " + e); // the old file stands, and is appended to as before
         }
     }
 
--- a/src/main/java/elderseam/core/JournalEntry.java
+++ b/src/main/java/elderseam/core/JournalEntry.java
@@ -5,17 +5,17 @@
 
 /** What the journal knows of a message. Times are wall-clock milliseconds; 0 is never. */
 final class JournalEntry {
-    static final int BOOKKEEPING = 512;   // kept free for the later records of each unfinished message
+    static final int BOOKKEEPING = 512; // kept free for the later records of each unfinished message
 
     final byte front;
     final long keepMs;
-    Stream.Message message;     // while unfinished
-    int size;                   // of its record, likewise
+    Stream.Message message; // while unfinished
+    int size; // of its record, likewise
     int attempts;
-    long firstRanMs, outMs;     // first attempt that may have run; the one that is out
+    long firstRanMs, outMs; // first attempt that may have run; the one that is out
     Answer answer;
     boolean owed;
-    boolean joined;             // waits for the end of another that has its key
+    boolean joined; // waits for the end of another that has its key
 
     JournalEntry(byte front, long keepMs) {
         this.front = front;
--- a/src/main/java/elderseam/core/JournalKeys.java
+++ b/src/main/java/elderseam/core/JournalKeys.java
@@ -15,7 +15,7 @@
     void put(String id, String same) {
         if (!same.isEmpty()) {
             byId.put(id, same);
-            bySame.put(same, id);   // an earlier one was refused
+            bySame.put(same, id); // an earlier one was refused
         }
     }
 
@@ -53,7 +53,9 @@
 
     /** The schemes that count, the present one last: others are forgotten. */
     Map<String, byte[]> schemes() {
-        schemes.keySet().removeIf(s -> !s.equals(current) && bySame.keySet().stream().noneMatch(same -> same.startsWith(s + ":")));
+        schemes.keySet()
+                .removeIf(s ->
+                        !s.equals(current) && bySame.keySet().stream().noneMatch(same -> same.startsWith(s + ":")));
         return new LinkedHashMap<>(schemes);
     }
 
--- a/src/main/java/elderseam/core/JournalRecords.java
+++ b/src/main/java/elderseam/core/JournalRecords.java
@@ -8,7 +8,16 @@
 
 /** The bytes of the journal's records: length and checksum (4 each), then the type, the id and what the type holds. */
 final class JournalRecords {
-    static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6, KEYED = 7, JOINED = 8, SCHEME = 9, DETACHED = 10;
+    static final byte TAKEN = 1,
+            SENT = 2,
+            RESULT = 3,
+            ENDED = 4,
+            TOLD = 5,
+            STATE = 6,
+            KEYED = 7,
+            JOINED = 8,
+            SCHEME = 9,
+            DETACHED = 10;
     static final int HEAD = 8, MOST = 256 << 10;
 
     interface Writing {
@@ -25,7 +34,7 @@
             out.writeUTF(id);
             content.to(out);
         } catch (IOException e) {
-            throw new IllegalStateException(e);   // memory doesn't fail so
+            throw new IllegalStateException(e); // memory doesn't fail so
         }
         byte[] record = bytes.toByteArray();
         ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt(checksum(record, HEAD, record.length - HEAD));
@@ -51,7 +60,8 @@
         });
     }
 
-    private static void message(DataOutputStream out, Stream.Message m, long deadlineMs, long keepMs) throws IOException {
+    private static void message(DataOutputStream out, Stream.Message m, long deadlineMs, long keepMs)
+            throws IOException {
         out.writeByte(m.front());
         out.writeInt(m.cls());
         out.writeInt(m.tenant());
--- a/src/main/java/elderseam/core/Json.java
+++ b/src/main/java/elderseam/core/Json.java
@@ -19,9 +19,11 @@
     private static final int MOST_DEPTH = 64;
     private static final Json ABSENT = new Json(null);
     private static final JsonFactory FACTORY = JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build()).build();
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build())
+            .build();
 
-    private final Object value;   // Map, List, String, or null
+    private final Object value; // Map, List, String, or null
 
     private Json(Object value) {
         this.value = value;
--- a/src/main/java/elderseam/core/Lateness.java
+++ b/src/main/java/elderseam/core/Lateness.java
@@ -27,7 +27,7 @@
             late = true;
             away += by;
             longest = Math.max(longest, by);
-            due = now + BEAT_NS;   // counted; the beat itself will still come, and is early then
+            due = now + BEAT_NS; // counted; the beat itself will still come, and is early then
         }
         return late;
     }
--- a/src/main/java/elderseam/core/Learned.java
+++ b/src/main/java/elderseam/core/Learned.java
@@ -16,11 +16,12 @@
     static final int MOST = 64 << 10;
     /** What is older says nothing of now. */
     static final long FRESH_NS = 60_000 * Clock.MS;
+
     private static final int HEAD = 16;
 
     private final JournalStore store;
     private final int shape;
-    private int written;   // of the last one, so that a shorter one leaves no tail
+    private int written; // of the last one, so that a shorter one leaves no tail
 
     /** {@code shape}: of the settings that a ledger belongs to; one of another shape is passed over. */
     Learned(JournalStore store, int shape) {
@@ -33,7 +34,11 @@
         if (HEAD + ledger.length > MOST) {
             return;
         }
-        ByteBuffer b = ByteBuffer.allocate(HEAD + ledger.length).putLong(0).putInt(ledger.length).putInt(shape).put(ledger);
+        ByteBuffer b = ByteBuffer.allocate(HEAD + ledger.length)
+                .putLong(0)
+                .putInt(ledger.length)
+                .putInt(shape)
+                .put(ledger);
         b.putLong(0, checksum(b.array()));
         store.write(b.array(), 0);
         if (b.capacity() < written) {
--- a/src/main/java/elderseam/core/LedgerBytes.java
+++ b/src/main/java/elderseam/core/LedgerBytes.java
@@ -37,7 +37,7 @@
             try {
                 out.writeLong(value);
             } catch (IOException e) {
-                throw new UncheckedIOException(e);   // memory doesn't fail so
+                throw new UncheckedIOException(e); // memory doesn't fail so
             }
             return value;
         }
--- a/src/main/java/elderseam/core/Lifecycle.java
+++ b/src/main/java/elderseam/core/Lifecycle.java
@@ -7,7 +7,11 @@
 public final class Lifecycle {
     /** STARTING until what an earlier process left is taken back; DRAINED once no client is connected; ENDING is for good. */
     public enum State {
-        STARTING("starting"), READY("ready"), DRAINING("draining"), DRAINED("drained"), ENDING("ending");
+        STARTING("starting"),
+        READY("ready"),
+        DRAINING("draining"),
+        DRAINED("drained"),
+        ENDING("ending");
 
         private final String wireName;
 
@@ -24,7 +28,9 @@
     private boolean started, drains, empty, ending;
 
     public State state() {
-        return ending ? State.ENDING : drains ? empty ? State.DRAINED : State.DRAINING : started ? State.READY : State.STARTING;
+        return ending
+                ? State.ENDING
+                : drains ? empty ? State.DRAINED : State.DRAINING : started ? State.READY : State.STARTING;
     }
 
     /** What an earlier process left is taken back. */
--- a/src/main/java/elderseam/core/Recovery.java
+++ b/src/main/java/elderseam/core/Recovery.java
@@ -19,11 +19,16 @@
 final class Recovery {
     /** Ready no later than this after recovery began, whatever is still to be told. */
     static final long LATEST_NS = 1_000 * Clock.MS;
-    private static final long PORTION_NS = 15 * Clock.MS;      // what a portion should take
+
+    private static final long PORTION_NS = 15 * Clock.MS; // what a portion should take
     private static final int LEAST = 8, FIRST = 32, MOST = 256;
 
     /** What the process is to do next. */
-    enum Stage { ENDS, OTHERS, DONE }
+    enum Stage {
+        ENDS,
+        OTHERS,
+        DONE
+    }
 
     private final long start;
     private final ArrayDeque<Stream> ends = new ArrayDeque<>(), others = new ArrayDeque<>();
@@ -43,11 +48,13 @@
 
     /** Whether no upstream host can be called for it any more. */
     static boolean endKnown(Stream s, List<Sender.MessageClass> classes, long now) {
-        return s.message.deadline() <= now || s.mayHaveRun && switch (classes.get(s.message.cls()).effect()) {
-            case SAFE -> false;
-            case KEYED -> s.keyUntil <= now;
-            case UNSAFE -> true;
-        };
+        return s.message.deadline() <= now
+                || s.mayHaveRun
+                        && switch (classes.get(s.message.cls()).effect()) {
+                            case SAFE -> false;
+                            case KEYED -> s.keyUntil <= now;
+                            case UNSAFE -> true;
+                        };
     }
 
     Stage stage() {
@@ -67,7 +74,9 @@
 
     /** The last portion kept the thread for so long. */
     void took(long ns) {
-        portion = ns > 2 * PORTION_NS ? Math.max(LEAST, portion / 2) : ns < PORTION_NS ? Math.min(MOST, portion * 2) : portion;
+        portion = ns > 2 * PORTION_NS
+                ? Math.max(LEAST, portion / 2)
+                : ns < PORTION_NS ? Math.min(MOST, portion * 2) : portion;
     }
 
     /** Whether the process may call itself ready; {@code owed}: answers that are yet to be told. */
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/Relay.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 
 /**
  * Takes streams on, carries out what the module decides and sees to it that each ends once. Owned by one thread;
@@ -17,9 +17,11 @@
 public final class Relay {
     /** A destination that no list has: what is to go there is never taken on, whatever any rule says. */
     public static final long NOWHERE = 999_999_999_999_999_999L;
+
     static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
     /** Kept of a stream's time to tell its end in: a thread that is late for so long still tells it in time. */
     static final long TELLING_NS = 80 * Clock.MS;
+
     private static final long LOOK_NS = 5 * Clock.MS;
 
     private final Sender.Settings settings;
@@ -34,7 +36,7 @@
     private final Figures figures;
     private final Attempts attempts;
     private final Handover handover;
-    private Runnable watch = () -> { };
+    private Runnable watch = () -> {};
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
 
@@ -76,7 +78,11 @@
     }
 
     /** What came of an operator's word on a host. */
-    public enum Detaching { DONE, UNKNOWN, NO_ROOM }
+    public enum Detaching {
+        DONE,
+        UNKNOWN,
+        NO_ROOM
+    }
 
     /**
      * An operator takes a host out of use, or gives it back; either may come again. It is in the journal before this returns,
@@ -157,7 +163,7 @@
         recovering = recovery.stage() != Recovery.Stage.DONE || !told[0];
         if (recovery.stage() != Recovery.Stage.DONE) {
             loop.afterReading(again);
-        } else if (recovering) {   // answers are under way
+        } else if (recovering) { // answers are under way
             loop.at(clock.now() + LOOK_NS, again);
         }
     }
@@ -185,7 +191,7 @@
 
     /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
     public Answer take(Stream.Message message, List<String> also) {
-        if (handover.passedOn()) {   // it was not passed on; nothing was taken
+        if (handover.passedOn()) { // it was not passed on; nothing was taken
             return Answer.refused(ROOM_AGAIN_NS);
         }
         Answer known = journal.answer(message.id());
@@ -215,7 +221,7 @@
 
     private Answer turnedAway(Stream.Message message) {
         Answer answer = Answer.refused(ROOM_AGAIN_NS);
-        if (message.destination() != NOWHERE) {   // that is the program's own, at its start
+        if (message.destination() != NOWHERE) { // that is the program's own, at its start
             figures.ended(message.cls(), answer);
         }
         return answer;
@@ -347,7 +353,7 @@
             return;
         }
         turning = true;
-        do {   // the next tick is known only after the picking, which may ask for one and do nothing else
+        do { // the next tick is known only after the picking, which may ask for one and do nothing else
             facade.tick(clock.now());
             for (List<Decision> all = picked(); !all.isEmpty(); all = picked()) {
                 all.forEach(this::carryOut);
@@ -359,7 +365,7 @@
             long at = next;
             tickAt = at;
             loop.at(at, () -> {
-                if (at == tickAt) {   // one that an earlier tick has replaced must not set a timer of its own
+                if (at == tickAt) { // one that an earlier tick has replaced must not set a timer of its own
                     tickAt = Long.MAX_VALUE;
                     turn();
                 }
@@ -402,7 +408,9 @@
             return;
         }
         // with a key, a copy may come as a class that must not run twice: what may have run is not to come again
-        boolean unsure = decided.kind() == Answer.Kind.REFUSED && s.mayHaveRun && !s.message.same().isEmpty();
+        boolean unsure = decided.kind() == Answer.Kind.REFUSED
+                && s.mayHaveRun
+                && !s.message.same().isEmpty();
         Answer answer = unsure ? Answer.FAILED : decided;
         s.answer = answer;
         figures.ended(s.message.cls(), answer);
--- a/src/main/java/elderseam/core/SettingsCheck.java
+++ b/src/main/java/elderseam/core/SettingsCheck.java
@@ -10,7 +10,7 @@
  * deployment can mean is a fault; what is absent and has a plain meaning (no such limit, no such price) is none.
  */
 public final class SettingsCheck {
-    private static final double MOST = 9e18;   // nanoseconds and counts fit a long
+    private static final double MOST = 9e18; // nanoseconds and counts fit a long
 
     private final SettingsMap settings;
     private final List<String> faults = new ArrayList<>();
@@ -31,9 +31,14 @@
         check.within("limits.mostHeld", false, 1, MOST, "1 or more");
         check.within("limits.maxAttempts", false, 1, MOST, "1 or more");
         check.within("replicasOfMe", false, 1, Integer.MAX_VALUE, "1 or more");
-        check.within("limits.connIdleNs", false, 0, MOST, "0 or more, in nanoseconds");   // none: no connection is kept
+        check.within("limits.connIdleNs", false, 0, MOST, "0 or more, in nanoseconds"); // none: no connection is kept
         check.within("limits.connectTimeoutNs", true, 1, MOST, "1 or more, in nanoseconds");
-        for (String time : List.of("limits.maxRetryAfterNs", "safety.drainGraceNs", "safety.coldNs", "safety.fallNs", "safety.keyQuietNs")) {
+        for (String time : List.of(
+                "limits.maxRetryAfterNs",
+                "safety.drainGraceNs",
+                "safety.coldNs",
+                "safety.fallNs",
+                "safety.keyQuietNs")) {
             check.within(time, false, 0, MOST, "0 or more, in nanoseconds");
         }
         check.within("safety.coldShare", false, 0, 1, "0 to 1");
@@ -61,7 +66,12 @@
             within(p + "targetNs", true, 0, MOST, "0 or more, in nanoseconds");
             within(p + "points", false, 0, MOST, "0 or more");
             within(p + "lateWorth", false, 0, 1, "0 to 1");
-            within(p + "windowNs", settings.text(p + "effect", "").equals("by_key"), 0, MOST, "0 or more, in nanoseconds");
+            within(
+                    p + "windowNs",
+                    settings.text(p + "effect", "").equals("by_key"),
+                    0,
+                    MOST,
+                    "0 or more, in nanoseconds");
         }
     }
 
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -23,8 +23,14 @@
                 default -> throw new IllegalArgumentException("unknown " + p + "effect");
             };
             boolean zoned = !text(p + "keyScope", "all").equals("all");
-            classes.add(new MessageClass(effect, zoned, flag(p + "fifoByKey"), whole(p + "targetNs", 0),
-                    whole(p + "giveUpNs", 0), real(p + "points", 1), real(p + "lateWorth", 0),
+            classes.add(new MessageClass(
+                    effect,
+                    zoned,
+                    flag(p + "fifoByKey"),
+                    whole(p + "targetNs", 0),
+                    whole(p + "giveUpNs", 0),
+                    real(p + "points", 1),
+                    real(p + "lateWorth", 0),
                     whole(p + "windowNs", 0)));
         }
         String[] apart = text("extra.kindApart", "").split(",");
@@ -33,8 +39,7 @@
         int count = Math.max(1, text("flavors", "").split(",").length);
         for (int i = 0; i < count; i++) {
             boolean routes = i < apart.length && apart[i].equals("true");
-            int most = i < batch.length && !batch[i].isEmpty()
-                    ? (int) number(batch[i], "extra.batchByKind") : 1;
+            int most = i < batch.length && !batch[i].isEmpty() ? (int) number(batch[i], "extra.batchByKind") : 1;
             kinds.add(new Kind(routes, most));
         }
         List<Double> quotas = new ArrayList<>();
@@ -52,18 +57,30 @@
             case "rough" -> Sender.Rates.ROUGH;
             default -> Sender.Rates.UNTOLD;
         };
-        return new Sender.Settings(classes, kinds, quotas, (int) whole("extra.callSlots", 0),
+        return new Sender.Settings(
+                classes,
+                kinds,
+                quotas,
+                (int) whole("extra.callSlots", 0),
                 (int) Math.min(Integer.MAX_VALUE, whole("limits.mostHeld", Integer.MAX_VALUE)),
                 (int) Math.min(Integer.MAX_VALUE, whole("limits.maxAttempts", Integer.MAX_VALUE)),
-                (int) whole("replicasOfMe", 1), (int) whole("zone", 0),
-                text("extra.fades", "line").equals("halves"), real("overShareWorth", 1),
-                flag("limits.mayCancel"), flag("limits.secondCopies"),
-                text("discovery", "push").equals("ask"), rates,
-                whole("limits.maxRetryAfterNs", 0), whole("safety.drainGraceNs", 0),
-                real("safety.coldShare", 1), whole("safety.coldNs", 0),
-                real("safety.fallMultiple", 1), whole("safety.fallNs", 0),
+                (int) whole("replicasOfMe", 1),
+                (int) whole("zone", 0),
+                text("extra.fades", "line").equals("halves"),
+                real("overShareWorth", 1),
+                flag("limits.mayCancel"),
+                flag("limits.secondCopies"),
+                text("discovery", "push").equals("ask"),
+                rates,
+                whole("limits.maxRetryAfterNs", 0),
+                whole("safety.drainGraceNs", 0),
+                real("safety.coldShare", 1),
+                whole("safety.coldNs", 0),
+                real("safety.fallMultiple", 1),
+                whole("safety.fallNs", 0),
                 whole("safety.keyQuietNs", 0),
-                new Sender.Connections(whole("limits.connIdleNs", 0),
+                new Sender.Connections(
+                        whole("limits.connIdleNs", 0),
                         (int) Math.min(Integer.MAX_VALUE, whole("limits.multiplex", 1)),
                         whole("limits.connectTimeoutNs", 0)),
                 new Sender.Prices(real("prices.handshake", 0), real("prices.crossZone", 0), fees));
--- a/src/main/java/elderseam/core/Stream.java
+++ b/src/main/java/elderseam/core/Stream.java
@@ -7,10 +7,31 @@
      *  {@code key} (may be empty) and {@code body} are the front's own and pass through unread. Its end is
      *  remembered until {@code rememberUntil}. Two with the same {@code same} (empty: none) are one message, by an
      *  operator's rule; it begins with the name of that rule's scheme and a colon. */
-    public record Message(String id, byte front, int cls, int tenant, long destination, long deadline,
-                          long rememberUntil, boolean again, boolean heedsWindow, String key, byte[] body, String same) {
-        public Message(String id, byte front, int cls, int tenant, long destination, long deadline, long rememberUntil,
-                       boolean again, boolean heedsWindow, String key, byte[] body) {
+    public record Message(
+            String id,
+            byte front,
+            int cls,
+            int tenant,
+            long destination,
+            long deadline,
+            long rememberUntil,
+            boolean again,
+            boolean heedsWindow,
+            String key,
+            byte[] body,
+            String same) {
+        public Message(
+                String id,
+                byte front,
+                int cls,
+                int tenant,
+                long destination,
+                long deadline,
+                long rememberUntil,
+                boolean again,
+                boolean heedsWindow,
+                String key,
+                byte[] body) {
             this(id, front, cls, tenant, destination, deadline, rememberUntil, again, heedsWindow, key, body, "");
         }
     }
@@ -19,10 +40,10 @@
     int attempts;
     boolean mayHaveRun;
     long keyUntil;
-    UpstreamRequest out;      // the attempt under way, or none
-    Attempts.Leg leg;            // the last attempt
+    UpstreamRequest out; // the attempt under way, or none
+    Attempts.Leg leg; // the last attempt
     Answer answer;
-    boolean owned;            // its client was told that it is taken on
+    boolean owned; // its client was told that it is taken on
 
     Stream(Message message) {
         this.message = message;
--- a/src/main/java/elderseam/core/Twins.java
+++ b/src/main/java/elderseam/core/Twins.java
@@ -12,8 +12,8 @@
 final class Twins {
     private record Pending(Stream first, List<Stream.Message> others) {}
 
-    private final Map<String, Pending> pending = new HashMap<>();      // by key
-    private final Map<String, String> waiting = new HashMap<>();       // ids of the others, to their keys
+    private final Map<String, Pending> pending = new HashMap<>(); // by key
+    private final Map<String, String> waiting = new HashMap<>(); // ids of the others, to their keys
 
     /** It is the first of its key. */
     void leads(Stream s) {
--- a/src/main/java/elderseam/core/UpstreamRequest.java
+++ b/src/main/java/elderseam/core/UpstreamRequest.java
@@ -6,10 +6,26 @@
     void abandon();
 
     /** How far an attempt had come. Only after the last byte was written can the upstream host have run it. */
-    enum Progress { NOT_CONNECTED, PARTLY_WRITTEN, WRITTEN, ANSWERED }
+    enum Progress {
+        NOT_CONNECTED,
+        PARTLY_WRITTEN,
+        WRITTEN,
+        ANSWERED
+    }
 
     /** What an answer says, or why there is none; HELD: it was not to leave any more. */
-    enum Status { DELIVERED, ERROR, FULL, NO_SLOT, SPENT, OVER, BROKEN, TIMED_OUT, ABANDONED, HELD }
+    enum Status {
+        DELIVERED,
+        ERROR,
+        FULL,
+        NO_SLOT,
+        SPENT,
+        OVER,
+        BROKEN,
+        TIMED_OUT,
+        ABANDONED,
+        HELD
+    }
 
     /** How an attempt ended; with FULL, {@code waitNs} is the wait it was told or 0. {@code shareLeft} and
      *  {@code limitPerS} are what the answer told of a limit, or 0. */
--- a/src/main/java/elderseam/emulator/Checkers.java
+++ b/src/main/java/elderseam/emulator/Checkers.java
@@ -15,8 +15,14 @@
 public final class Checkers implements Watcher {
     /** What can be broken. */
     public enum Rule {
-        ANSWERED_TWICE("answered_twice"), LOST("lost"), LATE("late"), TWO_OUT("two_out"), ABOVE_SLOTS("above_slots"),
-        EFFECT_TWICE("effect_twice"), WAIT_BROKEN("wait_broken"), DRAIN_BROKEN("drain_broken");
+        ANSWERED_TWICE("answered_twice"),
+        LOST("lost"),
+        LATE("late"),
+        TWO_OUT("two_out"),
+        ABOVE_SLOTS("above_slots"),
+        EFFECT_TWICE("effect_twice"),
+        WAIT_BROKEN("wait_broken"),
+        DRAIN_BROKEN("drain_broken");
 
         private final String wireName;
 
@@ -30,18 +36,23 @@
         }
     }
 
-    private static final long MS = 1_000_000, LATE_NS = 50 * MS, DRAIN_GRACE_NS = 2_000 * MS, WAIT_GRACE_NS = MS, KEY_WINDOW_NS = 6_000 * MS;
-    private static final long AWAY_NS = 1_500 * MS;   // what a process owed while it was away it tells within this
+    private static final long MS = 1_000_000,
+            LATE_NS = 50 * MS,
+            DRAIN_GRACE_NS = 2_000 * MS,
+            WAIT_GRACE_NS = MS,
+            KEY_WINDOW_NS = 6_000 * MS;
+    private static final long AWAY_NS = 1_500 * MS; // what a process owed while it was away it tells within this
     private static final int MOST_WORDS = 20;
 
     private final int slots;
-    private final Map<String, Integer> out = new HashMap<>();              // by message
-    private final Map<String, Long> ran = new HashMap<>();                 // by message: when it last took effect
-    private final Map<Integer, Integer> outOf = new HashMap<>();           // by dispatcher
-    private final Map<String, Long> waits = new HashMap<>(), drains = new HashMap<>();   // by dispatcher and destination or endpoint
+    private final Map<String, Integer> out = new HashMap<>(); // by message
+    private final Map<String, Long> ran = new HashMap<>(); // by message: when it last took effect
+    private final Map<Integer, Integer> outOf = new HashMap<>(); // by dispatcher
+    private final Map<String, Long> waits = new HashMap<>(),
+            drains = new HashMap<>(); // by dispatcher and destination or endpoint
     private final Map<Integer, Map<String, Integer>> outBy = new HashMap<>();
-    private final Map<String, Integer> holders = new HashMap<>();          // by message: who took it on last
-    private final Map<Integer, Long> started = new HashMap<>();            // by dispatcher, where it was started anew
+    private final Map<String, Integer> holders = new HashMap<>(); // by message: who took it on last
+    private final Map<Integer, Long> started = new HashMap<>(); // by dispatcher, where it was started anew
     private final Map<Rule, Integer> broken = new LinkedHashMap<>();
     private final StringBuilder words = new StringBuilder();
     private int felled, told;
@@ -53,7 +64,8 @@
     private void breaks(Rule rule, long now, String what) {
         broken.merge(rule, 1, Integer::sum);
         if (told++ < MOST_WORDS) {
-            words.append(String.format("%.3f s: %s: %s%n", now / 1e9, rule.wireName().toUpperCase(Locale.ROOT), what));
+            words.append(
+                    String.format("%.3f s: %s: %s%n", now / 1e9, rule.wireName().toUpperCase(Locale.ROOT), what));
         }
     }
 
@@ -66,7 +78,8 @@
     public void answered(long now, Msg m, Answer answer) {
         if (m.cls() < 0) {
             breaks(Rule.ANSWERED_TWICE, now, m.id() + " is answered " + answer.kind() + " though nobody waits");
-        } else if (now > m.deadline() + LATE_NS && now > started.getOrDefault(holders.getOrDefault(m.id(), -1), -AWAY_NS) + AWAY_NS) {
+        } else if (now > m.deadline() + LATE_NS
+                && now > started.getOrDefault(holders.getOrDefault(m.id(), -1), -AWAY_NS) + AWAY_NS) {
             breaks(Rule.LATE, now, m.id() + " is answered " + (now - m.deadline()) / MS + " ms after its deadline");
         }
     }
@@ -113,10 +126,11 @@
             started.put(dispatcher, now);
         }
         if (!up) {
-            outBy.getOrDefault(dispatcher, Map.of()).forEach((id, n) -> out.merge(id, -n, (a, b) -> a + b == 0 ? null : a + b));
+            outBy.getOrDefault(dispatcher, Map.of())
+                    .forEach((id, n) -> out.merge(id, -n, (a, b) -> a + b == 0 ? null : a + b));
             outBy.remove(dispatcher);
             outOf.remove(dispatcher);
-            waits.keySet().removeIf(k -> k.startsWith(dispatcher + " "));    // it remembers none, and may be told anew
+            waits.keySet().removeIf(k -> k.startsWith(dispatcher + " ")); // it remembers none, and may be told anew
             drains.keySet().removeIf(k -> k.startsWith(dispatcher + " "));
         }
     }
@@ -126,7 +140,10 @@
         Long last = ran.put(m.id(), now);
         boolean twice = last != null && (m.cls() == 2 || m.cls() == 1 && now - last > KEY_WINDOW_NS);
         if (twice) {
-            breaks(Rule.EFFECT_TWICE, now, m.id() + " of class " + m.cls() + " takes effect again after " + (now - last) / MS + " ms");
+            breaks(
+                    Rule.EFFECT_TWICE,
+                    now,
+                    m.id() + " of class " + m.cls() + " takes effect again after " + (now - last) / MS + " ms");
         }
     }
 
--- a/src/main/java/elderseam/emulator/Clients.java
+++ b/src/main/java/elderseam/emulator/Clients.java
@@ -29,7 +29,7 @@
     private final Plan plan;
     private final UniformRandomProvider arrivals, choices, front, habits;
     private final Map<String, Open> open = new HashMap<>();
-    private final double[] upTo;           // of destinations: the rates added up
+    private final double[] upTo; // of destinations: the rates added up
     private final Destination[] order;
     private final double[] mixUpTo = new double[3];
     private long ids;
@@ -73,7 +73,9 @@
     private double floods(long now) {
         double more = 0;
         for (Plan.Flood f : plan.floods()) {
-            more += now >= f.at() * S && now < (f.at() + f.lasts()) * S ? (f.factor() - 1) / plan.clients().tenants() : 0;
+            more += now >= f.at() * S && now < (f.at() + f.lasts()) * S
+                    ? (f.factor() - 1) / plan.clients().tenants()
+                    : 0;
         }
         return more;
     }
@@ -82,9 +84,14 @@
     private double rate(long now) {
         double rate = plan.rate() * (1 + floods(now));
         return switch (plan.clients().arrivals()) {
-            case BURSTY -> rate * (bursting ? plan.clients().burst() : Math.max(0.05, (1 - BURST_SHARE * plan.clients().burst()) / (1 - BURST_SHARE)));
+            case BURSTY ->
+                rate
+                        * (bursting
+                                ? plan.clients().burst()
+                                : Math.max(
+                                        0.05, (1 - BURST_SHARE * plan.clients().burst()) / (1 - BURST_SHARE)));
             case CLUMPED -> rate / plan.clients().clump();
-            case DIURNAL -> {   // the plan's length is a day, least at its ends; month-end doubles the afternoon
+            case DIURNAL -> { // the plan's length is a day, least at its ends; month-end doubles the afternoon
                 double day = now / (plan.seconds() * S);
                 yield rate * (1 - Math.cos(2 * Math.PI * day)) * (plan.clients().monthEnd() && day > 0.5 ? 2 : 1);
             }
@@ -94,7 +101,7 @@
 
     private void next() {
         double most = Math.max(1e-9, rate(world.time.now()));
-        long gap = (long) Math.min(S / 4, Draws.exponential(arrivals, S / most));   // looked at anew where the rate moves
+        long gap = (long) Math.min(S / 4, Draws.exponential(arrivals, S / most)); // looked at anew where the rate moves
         boolean comes = gap < S / 4;
         long at = world.time.now() + Math.max(1, gap);
         if (at >= plan.seconds() * S || at >= DAY_NS * 365) {
@@ -102,7 +109,9 @@
         }
         world.time.at(at, () -> {
             if (comes) {
-                int n = plan.clients().arrivals() == Plan.Arrivals.CLUMPED ? plan.clients().clump() : 1;
+                int n = plan.clients().arrivals() == Plan.Arrivals.CLUMPED
+                        ? plan.clients().clump()
+                        : 1;
                 Destination d = destination();
                 for (int i = 0; i < n; i++) {
                     make(d);
@@ -122,7 +131,13 @@
         long now = world.time.now();
         double draw = choices.nextDouble() * mixUpTo[2];
         int cls = draw < mixUpTo[0] ? 0 : draw < mixUpTo[1] ? 1 : 2;
-        Msg m = new Msg("m" + ids++, cls, tenant(now), d.id, now, now + Policies.CLASSES.get(cls).deadlineNs());
+        Msg m = new Msg(
+                "m" + ids++,
+                cls,
+                tenant(now),
+                d.id,
+                now,
+                now + Policies.CLASSES.get(cls).deadlineNs());
         Open o = new Open(m);
         open.put(m.id(), o);
         hand(o);
@@ -157,7 +172,18 @@
         }
         Msg m = o.m;
         o.taken = true;
-        Answer answer = seat.instance.take(new Stream.Message(m.id(), (byte) 0, m.cls(), m.tenant(), m.destination(), m.deadline(), m.deadline(), again, true, "", BODY));
+        Answer answer = seat.instance.take(new Stream.Message(
+                m.id(),
+                (byte) 0,
+                m.cls(),
+                m.tenant(),
+                m.destination(),
+                m.deadline(),
+                m.deadline(),
+                again,
+                true,
+                "",
+                BODY));
         if (answer != null) {
             answered(m.id(), answer);
         } else {
@@ -174,7 +200,10 @@
     void answered(String id, Answer answer) {
         Open o = open.get(id);
         if (o == null) {
-            world.watcher.answered(world.time.now(), new Msg(id, -1, -1, -1, 0, 0), answer);   // to one that had its end: for the checkers
+            world.watcher.answered(
+                    world.time.now(),
+                    new Msg(id, -1, -1, -1, 0, 0),
+                    answer); // to one that had its end: for the checkers
             return;
         }
         if (!o.taken) {
@@ -194,7 +223,8 @@
     private void again(Open o, long afterNs) {
         long at = world.time.now() + Math.max(100 * MS, afterNs) + (long) (200 * MS * habits.nextDouble());
         long window = Policies.CLASSES.get(o.m.cls()).keyWindowNs();
-        boolean past = window > 0 && at >= o.m.born() + window;   // a repeat would no longer be dropped, as the platform's clients know
+        boolean past = window > 0
+                && at >= o.m.born() + window; // a repeat would no longer be dropped, as the platform's clients know
         if (past || at >= o.m.deadline() || o.tries > plan.clients().retries()) {
             end(o, Answer.Kind.REFUSED);
         } else {
--- a/src/main/java/elderseam/emulator/Destination.java
+++ b/src/main/java/elderseam/emulator/Destination.java
@@ -14,7 +14,7 @@
  */
 final class Destination {
     private static final long MS = 1_000_000, S = 1_000 * MS;
-    private static final double CHANCE = 8;        // calls at once that say nothing: they come at random
+    private static final double CHANCE = 8; // calls at once that say nothing: they come at random
     private static final long ERROR_NS = 10 * MS, FLAP_NS = S;
 
     /** What a call gets, so long after it came; {@code ranNs}: after how long the destination acts on it, -1 for never. */
@@ -35,7 +35,7 @@
     private final long seed;
     private final Watcher watcher;
     private final List<Spell> spells = new ArrayList<>();
-    private final List<PriorityQueue<Long>> busy = new ArrayList<>();   // of each endpoint: when its calls are done
+    private final List<PriorityQueue<Long>> busy = new ArrayList<>(); // of each endpoint: when its calls are done
     private double bucket, load;
     private long bucketAt, loadAt, window, inWindow, warmFrom = Long.MIN_VALUE / 2, downUntil;
     private double spare = 1;
@@ -105,7 +105,9 @@
     /** A call has come to an endpoint. */
     Reply call(long now, int endpoint, Msg m, int attempt) {
         Spell s = spell(now);
-        long service = (long) (kind.serviceMs() * MS * Math.exp(kind.spread() * Draws.normal(seed, m.id(), attempt, 1) - kind.spread() * kind.spread() / 2));
+        long service = (long) (kind.serviceMs()
+                * MS
+                * Math.exp(kind.spread() * Draws.normal(seed, m.id(), attempt, 1) - kind.spread() * kind.spread() / 2));
         if (s != null && (s.fault != Fault.FLAP || (now - s.from) / FLAP_NS % 2 == 0)) {
             switch (s.fault) {
                 case FAIL, FLAP -> {
@@ -117,7 +119,7 @@
                 case SHUT -> {
                     return new Reply(Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? s.to - now : 0, 0, 0, -1);
                 }
-                case HANG -> {   // half of what hangs was acted on
+                case HANG -> { // half of what hangs was acted on
                     return Reply.of(Status.TIMED_OUT, NEVER, Draws.unit(seed, m.id(), attempt, 5) < 0.5 ? service : -1);
                 }
                 case SILENT -> {
@@ -137,7 +139,8 @@
         }
         long wait = limited(now);
         if (wait > 0) {
-            return new Reply(Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? wait : 0, 0, reported(m, attempt), -1);
+            return new Reply(
+                    Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? wait : 0, 0, reported(m, attempt), -1);
         }
         long queued = kind.slots() == 0 ? 0 : queued(now, busy.get(endpoint), service);
         if (queued < 0) {
@@ -146,7 +149,14 @@
         if (Draws.unit(seed, m.id(), attempt, 4) < kind.errors()) {
             return Reply.of(Status.ERROR, ERROR_NS, -1);
         }
-        return new Reply(Progress.ANSWERED, Status.DELIVERED, queued + service, 0, left(m, attempt), reported(m, attempt), queued + service);
+        return new Reply(
+                Progress.ANSWERED,
+                Status.DELIVERED,
+                queued + service,
+                0,
+                left(m, attempt),
+                reported(m, attempt),
+                queued + service);
     }
 
     /** While it warms up it stands less, and falls over for a time when pushed above a multiple of that. */
@@ -199,7 +209,7 @@
             return -1;
         }
         long start = now;
-        if (ends.size() >= kind.slots()) {   // as many must end first as are above the slots
+        if (ends.size() >= kind.slots()) { // as many must end first as are above the slots
             List<Long> order = new ArrayList<>(ends);
             order.sort(null);
             start = order.get(ends.size() - kind.slots());
@@ -213,6 +223,8 @@
     }
 
     private double reported(Msg m, int attempt) {
-        return kind.report() ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * Draws.normal(seed, m.id(), attempt, 7)) : 0;
+        return kind.report()
+                ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * Draws.normal(seed, m.id(), attempt, 7))
+                : 0;
     }
 }
--- a/src/main/java/elderseam/emulator/Draws.java
+++ b/src/main/java/elderseam/emulator/Draws.java
@@ -16,7 +16,10 @@
 
     /** The stream of that name; the same one each time. */
     UniformRandomProvider of(String name) {
-        return streams.computeIfAbsent(name, n -> RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mixed(seed), mixed(seed ^ 0x5DEECE66DL * n.hashCode())}));
+        return streams.computeIfAbsent(
+                name,
+                n -> RandomSource.XO_RO_SHI_RO_128_PP.create(
+                        new long[] {mixed(seed), mixed(seed ^ 0x5DEECE66DL * n.hashCode())}));
     }
 
     /** Which chance an attempt of a message meets hangs on both alone: it is the same whatever else a policy does. */
--- a/src/main/java/elderseam/emulator/Instance.java
+++ b/src/main/java/elderseam/emulator/Instance.java
@@ -15,7 +15,8 @@
         Plan plan();
 
         /** An attempt leaves for an endpoint; as {@link elderseam.core.Upstream#send}. */
-        elderseam.core.UpstreamRequest send(Stream.Message m, String endpoint, long connectBy, long answerBy, elderseam.core.Attempt attempt);
+        elderseam.core.UpstreamRequest send(
+                Stream.Message m, String endpoint, long connectBy, long answerBy, elderseam.core.Attempt attempt);
 
         /** Its final answer for a message that it had taken on. */
         void ended(Stream.Message m, Answer answer);
@@ -38,14 +39,11 @@
     void hosts(Sender.ListKind kind, List<Sender.Endpoint> list);
 
     /** The process is to end by that time. */
-    default void closing(long end) {
-    }
+    default void closing(long end) {}
 
     /** How its breakers stand, where it has any. */
-    default void breakers(BiConsumer<Long, Sender.Breaker> each) {
-    }
+    default void breakers(BiConsumer<Long, Sender.Breaker> each) {}
 
     /** What others say of a destination, where it listens. */
-    default void advise(long destination, double doubt, double trying) {
-    }
+    default void advise(long destination, double doubt, double trying) {}
 }
--- a/src/main/java/elderseam/emulator/MemoryStore.java
+++ b/src/main/java/elderseam/emulator/MemoryStore.java
@@ -10,6 +10,7 @@
 public final class MemoryStore implements JournalStore {
     /** What a policy that is spared the loss of its messages keeps. */
     final Map<String, PlainInstance.Held> kept = new LinkedHashMap<>();
+
     private final Map<String, MemoryStore> aside = new LinkedHashMap<>();
     private byte[] bytes = new byte[1 << 12];
     private int length;
--- a/src/main/java/elderseam/emulator/ModuleInstance.java
+++ b/src/main/java/elderseam/emulator/ModuleInstance.java
@@ -41,7 +41,7 @@
 
     private final Place place;
     private final Relay relay;
-    private final Shares shares;   // null: as the settings told once and for all
+    private final Shares shares; // null: as the settings told once and for all
 
     /** {@code remembers}: what it learns outlasts its process; {@code shares}: it is told its part of what all do. */
     ModuleInstance(Place place, MemoryStore store, long seed, boolean remembers, boolean shares) {
@@ -49,9 +49,9 @@
         Clock clock = new Virtual(place.time());
         try {
             Journal journal = new Journal(store, JOURNAL_BYTES, clock);
-            relay = new Relay(Policies.settings(place.plan()), seed, journal, clock, this, words -> { });
+            relay = new Relay(Policies.settings(place.plan()), seed, journal, clock, this, words -> {});
         } catch (IOException e) {
-            throw new UncheckedIOException(e);   // memory does not fail so
+            throw new UncheckedIOException(e); // memory does not fail so
         }
         relay.front((byte) 0, this, this);
         if (remembers) {
@@ -74,7 +74,7 @@
             shares.hosts(kind, list);
         }
         if (first) {
-            relay.recover(() -> 0, () -> { });
+            relay.recover(() -> 0, () -> {});
         }
     }
 
--- a/src/main/java/elderseam/emulator/Network.java
+++ b/src/main/java/elderseam/emulator/Network.java
@@ -11,13 +11,15 @@
 
 /** Connections and what travels on them: delays, losses, resets, late answers. One for the world. */
 final class Network {
-    private static final long MS = 1_000_000, LISTENS_NS = 1_000 * MS;   // for the late answer of a call that was given up
+    private static final long MS = 1_000_000,
+            LISTENS_NS = 1_000 * MS; // for the late answer of a call that was given up
 
     private final VirtualTime time;
     private final Plan.Network plan;
     private final Watcher watcher;
     private final long seed;
-    private final Map<String, Long> idleUntil = new HashMap<>();   // by dispatcher and endpoint: one idle connection stands for many
+    private final Map<String, Long> idleUntil =
+            new HashMap<>(); // by dispatcher and endpoint: one idle connection stands for many
 
     Network(VirtualTime time, Plan.Network plan, Watcher watcher, long seed) {
         this.time = time;
@@ -31,7 +33,16 @@
     }
 
     /** One call; {@code alive}: whether the process that made it still lives. */
-    Call call(int dispatcher, java.util.function.BooleanSupplier alive, Msg m, int number, Destination to, int endpoint, long connectBy, long answerBy, Attempt attempt) {
+    Call call(
+            int dispatcher,
+            java.util.function.BooleanSupplier alive,
+            Msg m,
+            int number,
+            Destination to,
+            int endpoint,
+            long connectBy,
+            long answerBy,
+            Attempt attempt) {
         return new Call(dispatcher, alive, m, number, to, endpoint, connectBy, answerBy, attempt);
     }
 
@@ -46,7 +57,16 @@
         private Progress progress = Progress.NOT_CONNECTED;
         private boolean over, left;
 
-        private Call(int dispatcher, java.util.function.BooleanSupplier alive, Msg m, int number, Destination to, int endpoint, long connectBy, long answerBy, Attempt attempt) {
+        private Call(
+                int dispatcher,
+                java.util.function.BooleanSupplier alive,
+                Msg m,
+                int number,
+                Destination to,
+                int endpoint,
+                long connectBy,
+                long answerBy,
+                Attempt attempt) {
             this.dispatcher = dispatcher;
             this.alive = alive;
             this.m = m;
@@ -58,9 +78,15 @@
             this.name = to == null ? "nobody" : to.endpoints[endpoint];
             String pair = dispatcher + name;
             boolean idle = to != null && idleUntil.getOrDefault(pair, -1L) >= time.now();
-            long connect = idle ? 0 : to == null ? Destination.NEVER : (long) (to.kind.connectMs() * MS) + 2 * delay(m.id(), number, 11);
+            long connect = idle
+                    ? 0
+                    : to == null
+                            ? Destination.NEVER
+                            : (long) (to.kind.connectMs() * MS) + 2 * delay(m.id(), number, 11);
             if (time.now() + connect > connectBy) {
-                time.at(Math.max(time.now(), connectBy), () -> ends(End.unanswered(Progress.NOT_CONNECTED, Status.TIMED_OUT)));
+                time.at(
+                        Math.max(time.now(), connectBy),
+                        () -> ends(End.unanswered(Progress.NOT_CONNECTED, Status.TIMED_OUT)));
             } else {
                 time.at(time.now() + connect, this::leave);
             }
@@ -94,7 +120,9 @@
             if (r.ranNs() >= 0) {
                 time.at(time.now() + way + r.ranNs(), () -> watcher.ran(time.now(), m));
             }
-            long back = r.afterNs() >= Destination.NEVER ? Destination.NEVER : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
+            long back = r.afterNs() >= Destination.NEVER
+                    ? Destination.NEVER
+                    : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
             if (lost) {
                 time.at(Math.min(answerBy, back), () -> ends(End.unanswered(Progress.WRITTEN, Status.BROKEN)));
             } else if (back > answerBy) {
--- a/src/main/java/elderseam/emulator/Plain.java
+++ b/src/main/java/elderseam/emulator/Plain.java
@@ -27,14 +27,11 @@
 
     abstract Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now);
 
-    void listed(Sender.Endpoint e) {
-    }
+    void listed(Sender.Endpoint e) {}
 
-    void sent(long destination, String endpoint, long now) {
-    }
+    void sent(long destination, String endpoint, long now) {}
 
-    void ended(long destination, String endpoint, long tookNs, End end, long now) {
-    }
+    void ended(long destination, String endpoint, long tookNs, End end, long now) {}
 
     final String next(long destination, List<String> of) {
         return of.get(Math.floorMod(turns.merge(destination, 1, Integer::sum), of.size()));
@@ -74,7 +71,7 @@
 
     /** A token bucket for each destination, of its listed rate: of all senders, as one that does not know the others. */
     static final class TokenBucket extends Plain {
-        private final Map<Long, double[]> buckets = new HashMap<>();   // tokens, when, rate
+        private final Map<Long, double[]> buckets = new HashMap<>(); // tokens, when, rate
 
         @Override
         void listed(Sender.Endpoint e) {
@@ -129,7 +126,9 @@
             }
             s.longRtt = s.longRtt == 0 ? tookNs : s.longRtt * 0.99 + tookNs * 0.01;
             double gradient = Math.max(0.5, Math.min(1, TOLERANCE * s.longRtt / tookNs));
-            s.limit = Math.max(1, Math.min(400, s.limit * (1 - SMOOTHING) + SMOOTHING * (s.limit * gradient + Math.sqrt(s.limit))));
+            s.limit = Math.max(
+                    1,
+                    Math.min(400, s.limit * (1 - SMOOTHING) + SMOOTHING * (s.limit * gradient + Math.sqrt(s.limit))));
         }
     }
 
@@ -141,7 +140,7 @@
         private static final double K = 2, HALF_LIFE_NS = 60e9;
 
         private final SplittableRandom random;
-        private final Map<Long, double[]> counts = new HashMap<>();   // asked, accepted, when
+        private final Map<Long, double[]> counts = new HashMap<>(); // asked, accepted, when
 
         Throttle(long seed) {
             random = new SplittableRandom(seed);
@@ -172,7 +171,7 @@
     /** Knows how each destination really is, and that no other dispatcher has its room: what could be had, not what can. */
     static final class Oracle extends Plain {
         private final Instance.Place place;
-        private final Map<Long, Long> waits = new HashMap<>();   // it keeps the rules all the same
+        private final Map<Long, Long> waits = new HashMap<>(); // it keeps the rules all the same
 
         Oracle(Instance.Place place) {
             this.place = place;
--- a/src/main/java/elderseam/emulator/PlainInstance.java
+++ b/src/main/java/elderseam/emulator/PlainInstance.java
@@ -19,7 +19,9 @@
  * what it holds at its end is lost, but for the oracle's.
  */
 final class PlainInstance implements Instance {
-    private static final long MARGIN_NS = 100 * Policies.MS, BACK_NS = 100 * Policies.MS, MOST_BACK_NS = 2_000 * Policies.MS;
+    private static final long MARGIN_NS = 100 * Policies.MS,
+            BACK_NS = 100 * Policies.MS,
+            MOST_BACK_NS = 2_000 * Policies.MS;
 
     static final class Held {
         final Stream.Message m;
@@ -97,7 +99,9 @@
             return;
         }
         List<String> of = endpoints.getOrDefault(h.m.destination(), List.of());
-        Plain.Verdict v = out >= place.plan().fleet().slots() || of.isEmpty() ? Plain.Verdict.later(BACK_NS) : policy.pick(h.m.destination(), of, h.m, h.attempts, now);
+        Plain.Verdict v = out >= place.plan().fleet().slots() || of.isEmpty()
+                ? Plain.Verdict.later(BACK_NS)
+                : policy.pick(h.m.destination(), of, h.m, h.attempts, now);
         if (v.endpoint() == null && v.refuse()) {
             end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
         } else if (v.endpoint() == null) {
@@ -112,22 +116,27 @@
         h.attempts++;
         out++;
         policy.sent(h.m.destination(), endpoint, now);
-        place.send(h.m, endpoint, Math.min(now + 1_500 * Policies.MS, h.m.deadline() - MARGIN_NS), h.m.deadline() - MARGIN_NS, new Attempt() {
-            @Override
-            public boolean mayLeave() {
-                return held.get(h.m.id()) == h;
-            }
-
-            @Override
-            public void ended(End end) {
-                PlainInstance.this.ended(h, endpoint, now, end);
-            }
-
-            @Override
-            public void answeredLate(End end) {
-                // it has had its end
-            }
-        });
+        place.send(
+                h.m,
+                endpoint,
+                Math.min(now + 1_500 * Policies.MS, h.m.deadline() - MARGIN_NS),
+                h.m.deadline() - MARGIN_NS,
+                new Attempt() {
+                    @Override
+                    public boolean mayLeave() {
+                        return held.get(h.m.id()) == h;
+                    }
+
+                    @Override
+                    public void ended(End end) {
+                        PlainInstance.this.ended(h, endpoint, now, end);
+                    }
+
+                    @Override
+                    public void answeredLate(End end) {
+                        // it has had its end
+                    }
+                });
     }
 
     private void ended(Held h, String endpoint, long start, End end) {
@@ -144,7 +153,9 @@
         } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().attempts()) {
             end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
         } else {
-            place.at(now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))), () -> tryNow(h));
+            place.at(
+                    now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))),
+                    () -> tryNow(h));
         }
     }
 
@@ -157,8 +168,15 @@
     }
 
     private static boolean mayRepeat(Held h, long now) {
-        return !h.maybeRan || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED && now - (h.m.deadline() - Policies.CLASSES.get(h.m.cls()).deadlineNs()) < 5_000 * Policies.MS;
+        return !h.maybeRan
+                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
+                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED
+                        && now
+                                        - (h.m.deadline()
+                                                - Policies.CLASSES
+                                                        .get(h.m.cls())
+                                                        .deadlineNs())
+                                < 5_000 * Policies.MS;
     }
 
     private void expire(Held h) {
--- a/src/main/java/elderseam/emulator/Plan.java
+++ b/src/main/java/elderseam/emulator/Plan.java
@@ -3,8 +3,18 @@
 import java.util.List;
 
 /** All of an experiment but its seed and its policy. Times are seconds from the start unless they say otherwise. */
-public record Plan(String name, double seconds, Fleet fleet, List<Kind> kinds, List<Trouble> troubles, Clients clients, List<Flood> floods,
-                   List<Restart> restarts, List<Drain> drains, Network network, Discovery discovery) {
+public record Plan(
+        String name,
+        double seconds,
+        Fleet fleet,
+        List<Kind> kinds,
+        List<Trouble> troubles,
+        Clients clients,
+        List<Flood> floods,
+        List<Restart> restarts,
+        List<Drain> drains,
+        Network network,
+        Discovery discovery) {
     /**
      * {@code slots}: calls out at once, each; {@code held}: messages held at most, each; {@code connections}: what an endpoint takes of
      * all dispatchers, by which subsets are sized, 0 where nobody knows; {@code hot}: how many times the others' traffic the first has.
@@ -18,7 +28,9 @@
     }
 
     public enum Limit implements WireNamed {
-        NONE("none"), RATE("rate"), WINDOW("window");
+        NONE("none"),
+        RATE("rate"),
+        WINDOW("window");
 
         private final String wireName;
 
@@ -37,12 +49,38 @@
      * {@code refusedCount}: refused calls count against the limit; {@code slots}: calls at once of each endpoint (0: any), and
      * {@code queue} more that wait; {@code report}: answers tell what is left of the limit, so late and off by such a share.
      */
-    public record Kind(String name, int destinations, int endpoints, double perS, Limit limit, int windowMs, boolean told, boolean refusedCount, int slots,
-                       int queue, double serviceMs, double spread, double errors, double connectMs, int idleMs, boolean report, double reportNoise,
-                       double coldShare, int coldMs, double fallMultiple, int fallMs, double load) {}
+    public record Kind(
+            String name,
+            int destinations,
+            int endpoints,
+            double perS,
+            Limit limit,
+            int windowMs,
+            boolean told,
+            boolean refusedCount,
+            int slots,
+            int queue,
+            double serviceMs,
+            double spread,
+            double errors,
+            double connectMs,
+            int idleMs,
+            boolean report,
+            double reportNoise,
+            double coldShare,
+            int coldMs,
+            double fallMultiple,
+            int fallMs,
+            double load) {}
 
     public enum Fault implements WireNamed {
-        FAIL("fail"), ERRORS("errors"), SHUT("shut"), HANG("hang"), SLOW("slow"), FLAP("flap"), SILENT("silent"),
+        FAIL("fail"),
+        ERRORS("errors"),
+        SHUT("shut"),
+        HANG("hang"),
+        SLOW("slow"),
+        FLAP("flap"),
+        SILENT("silent"),
         HALF_OPEN("half_open");
 
         private final String wireName;
@@ -61,7 +99,10 @@
     public record Trouble(String name, String kind, double part, double at, double lasts, Fault fault, double factor) {}
 
     public enum Arrivals implements WireNamed {
-        POISSON("poisson"), BURSTY("bursty"), CLUMPED("clumped"), DIURNAL("diurnal");
+        POISSON("poisson"),
+        BURSTY("bursty"),
+        CLUMPED("clumped"),
+        DIURNAL("diurnal");
 
         private final String wireName;
 
@@ -79,12 +120,21 @@
      * {@code mix}: of status updates, job orders and rent payments; {@code clump}: messages in one; {@code burst}: how many times the
      * usual rate a burst has, a tenth of the time; {@code retries}: how often a refused message is handed in again.
      */
-    public record Clients(Arrivals arrivals, double scale, int tenants, double[] mix, int clump, double burst, int retries, boolean monthEnd) {}
+    public record Clients(
+            Arrivals arrivals,
+            double scale,
+            int tenants,
+            double[] mix,
+            int clump,
+            double burst,
+            int retries,
+            boolean monthEnd) {}
 
     public record Flood(String name, int tenant, double factor, double at, double lasts) {}
 
     public enum How implements WireNamed {
-        KILL("kill"), TERM("term");
+        KILL("kill"),
+        TERM("term");
 
         private final String wireName;
 
@@ -112,7 +162,10 @@
 
     /** Calls a second that the destinations' load asks for, before floods. */
     public double rate() {
-        return clients.scale * kinds.stream().mapToDouble(k -> k.destinations * k.perS * k.load).sum();
+        return clients.scale
+                * kinds.stream()
+                        .mapToDouble(k -> k.destinations * k.perS * k.load)
+                        .sum();
     }
 
     public int destinations() {
--- a/src/main/java/elderseam/emulator/PlanFile.java
+++ b/src/main/java/elderseam/emulator/PlanFile.java
@@ -13,7 +13,8 @@
 
 /** A scenario file to a {@link Plan}: whole or not at all, every fault told with its place and what is allowed. */
 public final class PlanFile {
-    private static final List<String> KINDS = List.of("scenario", "fleet", "kind", "trouble", "clients", "flood", "restart", "drain", "network", "discovery");
+    private static final List<String> KINDS = List.of(
+            "scenario", "fleet", "kind", "trouble", "clients", "flood", "restart", "drain", "network", "discovery");
 
     private final List<String> faults = new ArrayList<>();
     private final List<Section> sections;
@@ -42,7 +43,12 @@
 
     private void set(String path, String value) {
         String[] part = path.split("\\.");
-        Section s = part.length == 3 ? sections.stream().filter(x -> x.kind().equals(part[0]) && x.name().equals(part[1])).findFirst().orElse(null) : null;
+        Section s = part.length == 3
+                ? sections.stream()
+                        .filter(x -> x.kind().equals(part[0]) && x.name().equals(part[1]))
+                        .findFirst()
+                        .orElse(null)
+                : null;
         if (s == null) {
             faults.add(file + ": " + path + " is no value of it, allowed: KIND.NAME.KEY of a section that is there");
         } else {
@@ -51,18 +57,53 @@
     }
 
     private Plan plan() {
-        Section scenario = one("scenario"), fleet = one("fleet"), clients = one("clients"), network = one("network"), discovery = one("discovery");
-        Plan plan = new Plan(scenario == null ? "" : scenario.name(), number(scenario, "seconds", 0.1, 1_000_000, 60),
-                new Plan.Fleet(whole(fleet, "dispatchers", 1, 1_000, 4), whole(fleet, "slots", 1, 100_000, 64), whole(fleet, "held", 1, 1_000_000, 400),
-                        whole(fleet, "attempts", 1, 1_000, 8), whole(fleet, "connections", 0, 1_000_000, 0), number(fleet, "hot", 1, 100, 1)),
-                all("kind").stream().map(this::kind).toList(), all("trouble").stream().map(this::trouble).toList(), clients(clients),
-                all("flood").stream().map(s -> new Plan.Flood(s.name(), whole(s, "tenant", 1, 100, 1), number(s, "factor", 0, 1_000, 5.9), number(s, "at", 0, 1e6, 0),
-                        number(s, "for", 0, 1e6, 1e6))).toList(),
-                all("restart").stream().map(s -> new Plan.Restart(s.name(), number(s, "at", 0, 1e6, 0), number(s, "within", 0, 1e6, 0), number(s, "part", 0, 1, 1),
-                        word(s, "how", Plan.How.class, Plan.How.KILL), number(s, "down_ms", 0, 1e6, 1_500))).toList(),
-                all("drain").stream().map(s -> new Plan.Drain(s.name(), s.text("kind", ""), number(s, "part", 0, 1, 1), number(s, "at", 0, 1e6, 0))).toList(),
-                new Plan.Network(number(network, "delay_ms", 0, 10_000, 0.5), number(network, "jitter_ms", 0, 10_000, 0.5), number(network, "loss", 0, 1, 0)),
-                new Plan.Discovery(number(discovery, "late_ms", 0, 1e6, 50), number(discovery, "down_at", 0, 1e6, 0), number(discovery, "down_for", 0, 1e6, 0),
+        Section scenario = one("scenario"),
+                fleet = one("fleet"),
+                clients = one("clients"),
+                network = one("network"),
+                discovery = one("discovery");
+        Plan plan = new Plan(
+                scenario == null ? "" : scenario.name(),
+                number(scenario, "seconds", 0.1, 1_000_000, 60),
+                new Plan.Fleet(
+                        whole(fleet, "dispatchers", 1, 1_000, 4),
+                        whole(fleet, "slots", 1, 100_000, 64),
+                        whole(fleet, "held", 1, 1_000_000, 400),
+                        whole(fleet, "attempts", 1, 1_000, 8),
+                        whole(fleet, "connections", 0, 1_000_000, 0),
+                        number(fleet, "hot", 1, 100, 1)),
+                all("kind").stream().map(this::kind).toList(),
+                all("trouble").stream().map(this::trouble).toList(),
+                clients(clients),
+                all("flood").stream()
+                        .map(s -> new Plan.Flood(
+                                s.name(),
+                                whole(s, "tenant", 1, 100, 1),
+                                number(s, "factor", 0, 1_000, 5.9),
+                                number(s, "at", 0, 1e6, 0),
+                                number(s, "for", 0, 1e6, 1e6)))
+                        .toList(),
+                all("restart").stream()
+                        .map(s -> new Plan.Restart(
+                                s.name(),
+                                number(s, "at", 0, 1e6, 0),
+                                number(s, "within", 0, 1e6, 0),
+                                number(s, "part", 0, 1, 1),
+                                word(s, "how", Plan.How.class, Plan.How.KILL),
+                                number(s, "down_ms", 0, 1e6, 1_500)))
+                        .toList(),
+                all("drain").stream()
+                        .map(s -> new Plan.Drain(
+                                s.name(), s.text("kind", ""), number(s, "part", 0, 1, 1), number(s, "at", 0, 1e6, 0)))
+                        .toList(),
+                new Plan.Network(
+                        number(network, "delay_ms", 0, 10_000, 0.5),
+                        number(network, "jitter_ms", 0, 10_000, 0.5),
+                        number(network, "loss", 0, 1, 0)),
+                new Plan.Discovery(
+                        number(discovery, "late_ms", 0, 1e6, 50),
+                        number(discovery, "down_at", 0, 1e6, 0),
+                        number(discovery, "down_for", 0, 1e6, 0),
                         number(discovery, "wrong", 0, 1, 0)));
         check(plan);
         return plan;
@@ -82,8 +123,11 @@
             for (Section s : all(kind)) {
                 asked.get(s).add("kind");
                 if (plan.kinds().stream().noneMatch(k -> k.name().equals(s.text("kind", "")))) {
-                    faults.add((s.has("kind") ? s.place(s.value("kind"), "kind") : s.place()) + "'" + s.text("kind", "") + "' is no kind, allowed: "
-                            + String.join(", ", plan.kinds().stream().map(Plan.Kind::name).toList()));
+                    faults.add((s.has("kind") ? s.place(s.value("kind"), "kind") : s.place()) + "'" + s.text("kind", "")
+                            + "' is no kind, allowed: "
+                            + String.join(
+                                    ", ",
+                                    plan.kinds().stream().map(Plan.Kind::name).toList()));
                 }
             }
         }
@@ -91,40 +135,76 @@
             if (!keys.contains(key)) {
                 faults.add(s.place(values.get(0), key) + "unknown key, allowed: " + String.join(", ", keys));
             } else if (values.size() > 1) {
-                faults.add(s.place(values.get(1), key) + "told at line " + values.get(0).line() + " already, allowed: once");
+                faults.add(s.place(values.get(1), key) + "told at line "
+                        + values.get(0).line() + " already, allowed: once");
             }
         }));
     }
 
     private Plan.Kind kind(Section s) {
-        return new Plan.Kind(s.name(), whole(s, "destinations", 1, 100_000, 4), whole(s, "endpoints", 1, 100, 2), number(s, "per_s", 0.001, 1e6, 40),
-                word(s, "limit", Plan.Limit.class, Plan.Limit.RATE), whole(s, "window_ms", 10, 3_600_000, 1_000), flag(s, "told", true), flag(s, "refused_count", false),
-                whole(s, "slots", 0, 100_000, 0), whole(s, "queue", 0, 100_000, 50), number(s, "service_ms", 0.01, 60_000, 40), number(s, "spread", 0, 3, 0.5),
-                number(s, "errors", 0, 1, 0.01), number(s, "connect_ms", 0, 10_000, 1), whole(s, "idle_ms", 0, 3_600_000, 5_000), flag(s, "report", false),
-                number(s, "report_noise", 0, 10, 0), number(s, "cold_share", 0.01, 1, 0.25), whole(s, "cold_ms", 0, 3_600_000, 10_000),
-                number(s, "fall_multiple", 0.1, 1_000, 2), whole(s, "fall_ms", 0, 3_600_000, 2_000), number(s, "load", 0, 100, 0.6));
+        return new Plan.Kind(
+                s.name(),
+                whole(s, "destinations", 1, 100_000, 4),
+                whole(s, "endpoints", 1, 100, 2),
+                number(s, "per_s", 0.001, 1e6, 40),
+                word(s, "limit", Plan.Limit.class, Plan.Limit.RATE),
+                whole(s, "window_ms", 10, 3_600_000, 1_000),
+                flag(s, "told", true),
+                flag(s, "refused_count", false),
+                whole(s, "slots", 0, 100_000, 0),
+                whole(s, "queue", 0, 100_000, 50),
+                number(s, "service_ms", 0.01, 60_000, 40),
+                number(s, "spread", 0, 3, 0.5),
+                number(s, "errors", 0, 1, 0.01),
+                number(s, "connect_ms", 0, 10_000, 1),
+                whole(s, "idle_ms", 0, 3_600_000, 5_000),
+                flag(s, "report", false),
+                number(s, "report_noise", 0, 10, 0),
+                number(s, "cold_share", 0.01, 1, 0.25),
+                whole(s, "cold_ms", 0, 3_600_000, 10_000),
+                number(s, "fall_multiple", 0.1, 1_000, 2),
+                whole(s, "fall_ms", 0, 3_600_000, 2_000),
+                number(s, "load", 0, 100, 0.6));
     }
 
     private Plan.Trouble trouble(Section s) {
-        return new Plan.Trouble(s.name(), s.text("kind", ""), number(s, "part", 0, 1, 1), number(s, "at", 0, 1e6, 0), number(s, "for", 0, 1e6, 10),
-                word(s, "fault", Plan.Fault.class, Plan.Fault.FAIL), number(s, "factor", 1, 1e6, 10));
+        return new Plan.Trouble(
+                s.name(),
+                s.text("kind", ""),
+                number(s, "part", 0, 1, 1),
+                number(s, "at", 0, 1e6, 0),
+                number(s, "for", 0, 1e6, 10),
+                word(s, "fault", Plan.Fault.class, Plan.Fault.FAIL),
+                number(s, "factor", 1, 1e6, 10));
     }
 
     private Plan.Clients clients(Section s) {
         double[] mix = {5, 3, 2};
         if (s != null && s.has("mix")) {
             String[] part = s.text("mix", "").strip().split(" +");
-            if (part.length == 3 && String.join("", part).matches("[0-9.]+") && !String.join("", part).matches("[0.]+")) {
-                mix = java.util.Arrays.stream(part).mapToDouble(Double::parseDouble).toArray();
+            if (part.length == 3
+                    && String.join("", part).matches("[0-9.]+")
+                    && !String.join("", part).matches("[0.]+")) {
+                mix = java.util.Arrays.stream(part)
+                        .mapToDouble(Double::parseDouble)
+                        .toArray();
             } else {
-                faults.add(s.place(s.value("mix"), "mix") + "'" + s.text("mix", "") + "' can't be used, allowed: three numbers, of status updates, job orders and rent payments");
+                faults.add(s.place(s.value("mix"), "mix") + "'" + s.text("mix", "")
+                        + "' can't be used, allowed: three numbers, of status updates, job orders and rent payments");
             }
         }
         if (s != null) {
             asked(s, "mix");
         }
-        return new Plan.Clients(word(s, "arrivals", Plan.Arrivals.class, Plan.Arrivals.POISSON), number(s, "scale", 0, 1_000, 1), whole(s, "tenants", 1, 100, 4), mix,
-                whole(s, "clump", 1, 10_000, 20), number(s, "burst", 1, 1_000, 4), whole(s, "retries", 0, 1_000, 8), flag(s, "month_end", false));
+        return new Plan.Clients(
+                word(s, "arrivals", Plan.Arrivals.class, Plan.Arrivals.POISSON),
+                number(s, "scale", 0, 1_000, 1),
+                whole(s, "tenants", 1, 100, 4),
+                mix,
+                whole(s, "clump", 1, 10_000, 20),
+                number(s, "burst", 1, 1_000, 4),
+                whole(s, "retries", 0, 1_000, 8),
+                flag(s, "month_end", false));
     }
 
     // ---------------------------------------------------------------- values
@@ -192,7 +272,11 @@
             }
         }
         faults.add(s.place(s.value(key), key) + "'" + text + "' can't be used, allowed: "
-                + String.join(", ", java.util.Arrays.stream(of.getEnumConstants()).map(Plan.WireNamed::wireName).toList()));
+                + String.join(
+                        ", ",
+                        java.util.Arrays.stream(of.getEnumConstants())
+                                .map(Plan.WireNamed::wireName)
+                                .toList()));
         return absent;
     }
 }
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/emulator/Policies.java
@@ -8,12 +8,13 @@
 /** The policies that there are, by name; the settings that all of them are given. */
 public final class Policies {
     static final long MS = 1_000_000, S = 1_000 * MS;
-    static final long AGAIN_NS = 500 * MS;   // a refusal's time to come back, of a plain policy
+    static final long AGAIN_NS = 500 * MS; // a refusal's time to come back, of a plain policy
     /** The classes of every emulated world: safe to repeat, keyed, once only. */
     public static final List<Sender.MessageClass> CLASSES = List.of(
             new Sender.MessageClass(Sender.Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
             new Sender.MessageClass(Sender.Effect.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
             new Sender.MessageClass(Sender.Effect.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
+
     public static final List<String> CLASS_NAMES = List.of("repeatable", "keyed", "once");
 
     /** Makes a dispatcher's process; the store is what outlasts it. */
@@ -25,8 +26,14 @@
 
     static {
         ALL.put("module", (place, store, seed) -> new ModuleInstance(place, store, seed, true, false));
-        ALL.put("shares", (place, store, seed) -> new ModuleInstance(place, store, seed, true, true));   // told its part of what all do
-        ALL.put("forgets", (place, store, seed) -> new ModuleInstance(place, store, seed, false, false));   // what it learned, at each end of a process
+        ALL.put(
+                "shares",
+                (place, store, seed) ->
+                        new ModuleInstance(place, store, seed, true, true)); // told its part of what all do
+        ALL.put(
+                "forgets",
+                (place, store, seed) -> new ModuleInstance(
+                        place, store, seed, false, false)); // what it learned, at each end of a process
         ALL.put("robin", (place, store, seed) -> new PlainInstance(place, new Plain.RoundRobin()));
         ALL.put("least", (place, store, seed) -> new PlainInstance(place, new Plain.LeastInFlight()));
         ALL.put("bucket", (place, store, seed) -> new PlainInstance(place, new Plain.TokenBucket()));
@@ -52,10 +59,30 @@
     static Sender.Settings settings(Plan p) {
         Plan.Kind first = p.kinds().get(0);
         boolean told = p.kinds().stream().anyMatch(Plan.Kind::report);
-        return new Sender.Settings(CLASSES, p.kinds().stream().map(k -> new Sender.Kind(false, 1)).toList(),
-                java.util.Collections.nCopies(p.clients().tenants(), p.rate() / p.clients().tenants() * 1.3), p.fleet().slots(), p.fleet().held(), p.fleet().attempts(),
-                p.fleet().dispatchers(), 0, true, 0.5, true, false, false, told ? Sender.Rates.ROUGH : Sender.Rates.EXACT, 3 * S, 2 * S, first.coldShare(),
-                first.coldMs() * MS, first.fallMultiple(), first.fallMs() * MS, 100 * MS,
-                new Sender.Connections(Math.max(first.idleMs(), 0) * MS, 1, 1_500 * MS), new Sender.Prices(0, 0, List.of()));
+        return new Sender.Settings(
+                CLASSES,
+                p.kinds().stream().map(k -> new Sender.Kind(false, 1)).toList(),
+                java.util.Collections.nCopies(
+                        p.clients().tenants(), p.rate() / p.clients().tenants() * 1.3),
+                p.fleet().slots(),
+                p.fleet().held(),
+                p.fleet().attempts(),
+                p.fleet().dispatchers(),
+                0,
+                true,
+                0.5,
+                true,
+                false,
+                false,
+                told ? Sender.Rates.ROUGH : Sender.Rates.EXACT,
+                3 * S,
+                2 * S,
+                first.coldShare(),
+                first.coldMs() * MS,
+                first.fallMultiple(),
+                first.fallMs() * MS,
+                100 * MS,
+                new Sender.Connections(Math.max(first.idleMs(), 0) * MS, 1, 1_500 * MS),
+                new Sender.Prices(0, 0, List.of()));
     }
 }
--- a/src/main/java/elderseam/emulator/Shares.java
+++ b/src/main/java/elderseam/emulator/Shares.java
@@ -22,7 +22,7 @@
     /** What each dispatcher knows of the others. */
     static final class View {
         private final Set<Integer> seen = new HashSet<>();
-        private final Map<Integer, Long> changes = new HashMap<>();   // the last change of each that is on its way
+        private final Map<Integer, Long> changes = new HashMap<>(); // the last change of each that is on its way
 
         /** {@code at}: when this one sees it; a later change of the same one, seen first, wins. */
         void changes(VirtualTime time, int who, boolean up, long at) {
@@ -81,7 +81,8 @@
             List<String> names = now.stream().map(n -> "m" + n).toList();
             Set<String> all = new HashSet<>();
             listed.values().forEach(all::addAll);
-            preferred = Subsets.preferred("m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
+            preferred = Subsets.preferred(
+                    "m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
             relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
         }
         place.at(place.time().now() + LOOK_NS, this::look);
