--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/emulator/Tally.java
@@ -17,7 +17,8 @@
     private final Histogram[] latency = new Histogram[3];
     private int messages, delivered, refused, failed, lost, handed, calls, failedCalls, callsInTrouble;
     private final Map<Long, Integer> troubled = new HashMap<>();
-    private final Map<String, Map<Integer, Long>> connected = new HashMap<>();   // by endpoint and dispatcher: until when at least
+    private final Map<String, Map<Integer, Long>> connected =
+            new HashMap<>(); // by endpoint and dispatcher: until when at least
     private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
     private int connections, mostConnected;
 
@@ -29,7 +30,7 @@
         callsAt = new int[n];
         failedAt = new int[n];
         for (int i = 0; i < 3; i++) {
-            latency[i] = new Histogram(60_000_000, 3);   // microseconds up to a minute
+            latency[i] = new Histogram(60_000_000, 3); // microseconds up to a minute
         }
     }
 
@@ -188,7 +189,9 @@
         all.put("endpoint_max_over_mean", unevenness());
         for (int i = 0; i < 3; i++) {
             for (double p : new double[] {50, 99, 99.9}) {
-                all.put(Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms", latency[i].getValueAtPercentile(p) / 1_000.0);
+                all.put(
+                        Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms",
+                        latency[i].getValueAtPercentile(p) / 1_000.0);
             }
         }
         return all;
--- a/src/main/java/elderseam/emulator/World.java
+++ b/src/main/java/elderseam/emulator/World.java
@@ -58,9 +58,19 @@
             long mine = life;
             Msg msg = clients.known(m.id());
             int e = endpoint.indexOf('e');
-            Destination to = endpoint.startsWith("wrong") ? null : destinations.get(Long.parseLong(endpoint.substring(1, e)));
+            Destination to =
+                    endpoint.startsWith("wrong") ? null : destinations.get(Long.parseLong(endpoint.substring(1, e)));
             int tries = attempts.merge(m.id(), 1, Integer::sum);
-            return network.call(number, () -> up && life == mine, msg, tries, to, to == null ? 0 : Integer.parseInt(endpoint.substring(e + 1)), connectBy, answerBy, attempt);
+            return network.call(
+                    number,
+                    () -> up && life == mine,
+                    msg,
+                    tries,
+                    to,
+                    to == null ? 0 : Integer.parseInt(endpoint.substring(e + 1)),
+                    connectBy,
+                    answerBy,
+                    attempt);
         }
 
         @Override
@@ -128,13 +138,16 @@
         this.network = new Network(time, plan.network(), watcher, seed);
         for (int k = 0; k < plan.kinds().size(); k++) {
             for (int i = 0; i < plan.kinds().get(k).destinations(); i++) {
-                Destination d = new Destination(destinations.size() + 1, plan.kinds().get(k), seed, watcher);
+                Destination d =
+                        new Destination(destinations.size() + 1, plan.kinds().get(k), seed, watcher);
                 destinations.put(d.id, d);
                 for (String e : d.endpoints) {
                     listed.put(e, new Sender.Endpoint(e, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
                 }
                 if (draws.of("wrong").nextDouble() < plan.discovery().wrong()) {
-                    listed.put("wrong" + d.id, new Sender.Endpoint("wrong" + d.id, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
+                    listed.put(
+                            "wrong" + d.id,
+                            new Sender.Endpoint("wrong" + d.id, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
                 }
             }
         }
@@ -151,7 +164,12 @@
         restarts();
         seats.forEach(Seat::start);
         clients.begin();
-        long end = (long) (plan.seconds() * S) + Policies.CLASSES.stream().mapToLong(Sender.MessageClass::deadlineNs).max().orElse(0) + 2 * S;
+        long end = (long) (plan.seconds() * S)
+                + Policies.CLASSES.stream()
+                        .mapToLong(Sender.MessageClass::deadlineNs)
+                        .max()
+                        .orElse(0)
+                + 2 * S;
         for (long step = end / 100 + 1; time.now() < end; ) {
             time.pass(Math.min(step, end - time.now()));
             progress.accept(time.now() / (double) S);
@@ -197,7 +215,11 @@
     // ---------------------------------------------------------------- what is done to it
 
     private List<Destination> part(String kind, double part, String name) {
-        List<Destination> of = shuffled(destinations.values().stream().filter(d -> d.kind.name().equals(kind)).toList(), "part " + name);
+        List<Destination> of = shuffled(
+                destinations.values().stream()
+                        .filter(d -> d.kind.name().equals(kind))
+                        .toList(),
+                "part " + name);
         return of.subList(0, (int) Math.min(of.size(), Math.max(1, Math.round(part * of.size()))));
     }
 
@@ -242,7 +264,8 @@
         if (e == null) {
             return;
         }
-        Sender.Endpoint now = new Sender.Endpoint(e.address(), e.destination(), e.kind(), e.zone(), listing, e.weight());
+        Sender.Endpoint now =
+                new Sender.Endpoint(e.address(), e.destination(), e.kind(), e.zone(), listing, e.weight());
         if (listing == Sender.Listing.GONE) {
             listed.remove(endpoint);
         } else {
@@ -250,7 +273,8 @@
         }
         for (Seat s : seats) {
             long at = time.now() + (long) (plan.discovery().lateMs() * MS);
-            long downFrom = (long) (plan.discovery().downAt() * S), downTo = downFrom + (long) (plan.discovery().downFor() * S);
+            long downFrom = (long) (plan.discovery().downAt() * S),
+                    downTo = downFrom + (long) (plan.discovery().downFor() * S);
             time.at(at >= downFrom && at < downTo ? downTo : at, () -> {
                 if (s.up) {
                     s.instance.hosts(Sender.ListKind.CHANGES, List.of(now));
@@ -272,7 +296,8 @@
             int n = (int) Math.max(1, Math.round(r.part() * order.size()));
             for (int i = 0; i < n; i++) {
                 Seat s = order.get(i);
-                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S), down = (long) (r.downMs() * MS);
+                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S),
+                        down = (long) (r.downMs() * MS);
                 time.at(at, () -> {
                     if (!s.up) {
                         return;
--- a/src/main/java/elderseam/fleet/History.java
+++ b/src/main/java/elderseam/fleet/History.java
@@ -42,9 +42,10 @@
             line.put((String) words[i], words[i + 1]);
         }
         try {
-            file.write(ByteBuffer.wrap((json.writeValueAsString(line) + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+            file.write(ByteBuffer.wrap(
+                    (json.writeValueAsString(line) + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8)));
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);   // a history with a hole proves nothing
+            throw new java.io.UncheckedIOException(e); // a history with a hole proves nothing
         }
     }
 
--- a/src/main/java/elderseam/fleet/config/Version.java
+++ b/src/main/java/elderseam/fleet/config/Version.java
@@ -55,6 +55,8 @@
 
     /** The characters of its texts. */
     static int size(Map<String, String> texts) {
-        return texts.entrySet().stream().mapToInt(e -> e.getKey().length() + e.getValue().length()).sum();
+        return texts.entrySet().stream()
+                .mapToInt(e -> e.getKey().length() + e.getValue().length())
+                .sum();
     }
 }
--- a/src/main/java/elderseam/fleet/config/VersionContent.java
+++ b/src/main/java/elderseam/fleet/config/VersionContent.java
@@ -33,7 +33,8 @@
         for (int i = 0; i < lines.size(); i++) {
             String line = lines.get(i).strip();
             if (line.matches("\\[.*]") && !SECTIONS.contains(line.substring(1, line.length() - 1))) {
-                faults.add(file + ":" + (i + 1) + ": '" + line + "' is each member's own, allowed in a version: [" + String.join("], [", SECTIONS) + "]");
+                faults.add(file + ":" + (i + 1) + ": '" + line + "' is each member's own, allowed in a version: ["
+                        + String.join("], [", SECTIONS) + "]");
             }
         }
         for (String name : names(lines)) {
@@ -79,8 +80,17 @@
         List<String> told = Files.readAllLines(texts.resolve(SETTINGS));
         List<String> names = names(told);
         for (String line : told) {
-            all.add(line.strip().matches("files\\s*=.*") ? "files = " + String.join(" ", names.stream()
-                    .map(n -> n.contains("/") ? n : texts.resolve(n).toString()).toList()) : line);
+            all.add(
+                    line.strip().matches("files\\s*=.*")
+                            ? "files = "
+                                    + String.join(
+                                            " ",
+                                            names.stream()
+                                                    .map(n -> n.contains("/")
+                                                            ? n
+                                                            : texts.resolve(n).toString())
+                                                    .toList())
+                            : line);
         }
         return Files.write(texts.resolve("merged.ini"), all);
     }
@@ -91,8 +101,10 @@
         TreeSet<String> names = new TreeSet<>(a.texts().keySet());
         names.addAll(b.texts().keySet());
         for (String name : names) {
-            List<String> from = a.texts().getOrDefault(name, "").lines().toList(), to = b.texts().getOrDefault(name, "").lines().toList();
-            all.addAll(UnifiedDiffUtils.generateUnifiedDiff(a.number() + "/" + name, b.number() + "/" + name, from, DiffUtils.diff(from, to), 2));
+            List<String> from = a.texts().getOrDefault(name, "").lines().toList(),
+                    to = b.texts().getOrDefault(name, "").lines().toList();
+            all.addAll(UnifiedDiffUtils.generateUnifiedDiff(
+                    a.number() + "/" + name, b.number() + "/" + name, from, DiffUtils.diff(from, to), 2));
         }
         return all;
     }
--- a/src/main/java/elderseam/fleet/config/VersionFolder.java
+++ b/src/main/java/elderseam/fleet/config/VersionFolder.java
@@ -41,9 +41,10 @@
             }
         }
         try (var all = Files.list(folder)) {
-            for (Path old : all.filter(p -> p.getFileName().toString().matches("\\d{1,18}[.-].*")).toList()) {
+            for (Path old : all.filter(p -> p.getFileName().toString().matches("\\d{1,18}[.-].*"))
+                    .toList()) {
                 long number = Long.parseLong(old.getFileName().toString().split("[.-]")[0]);
-                if (!numbers.contains(number) && number <= newest(numbers)) {   // a higher one may be looked at just now
+                if (!numbers.contains(number) && number <= newest(numbers)) { // a higher one may be looked at just now
                     drop(old);
                 }
             }
@@ -88,7 +89,8 @@
     public List<Version> all() throws IOException {
         List<Version> all = new ArrayList<>();
         try (var files = Files.list(folder)) {
-            for (Path f : files.filter(p -> p.getFileName().toString().matches("\\d{1,18}\\.json")).toList()) {
+            for (Path f : files.filter(p -> p.getFileName().toString().matches("\\d{1,18}\\.json"))
+                    .toList()) {
                 all.add(read(f));
             }
         }
@@ -98,7 +100,8 @@
 
     /** The texts of a version as files below a folder of its own, which is told. */
     public Path texts(Version v) throws IOException {
-        Path own = Files.createDirectories(folder.resolve(v.number() + "-" + v.hash().substring(0, 12)));
+        Path own = Files.createDirectories(
+                folder.resolve(v.number() + "-" + v.hash().substring(0, 12)));
         for (var e : v.texts().entrySet()) {
             put(own.resolve(e.getKey()), e.getValue().getBytes(java.nio.charset.StandardCharsets.UTF_8));
         }
--- a/src/main/java/elderseam/fleet/config/VersionRule.java
+++ b/src/main/java/elderseam/fleet/config/VersionRule.java
@@ -19,7 +19,7 @@
     private final double drift;
     private Version acting, next;
     private long sureUntil = Long.MIN_VALUE, tableMs, tableAt = Long.MIN_VALUE;
-    private boolean behind = true;   // the group has committed what this member's own copy of the table has not yet
+    private boolean behind = true; // the group has committed what this member's own copy of the table has not yet
 
     /** {@code acting}: what it acted on last, in doubt until it is confirmed; {@code boundMs}: T; {@code drift}: of any clock. */
     public VersionRule(Version acting, long boundMs, double drift) {
@@ -32,7 +32,7 @@
     public void confirmed(long sentNs, long nowNs, VersionTable.Outcome o, Version known) {
         behind = o.latest() != known.number();
         if (behind) {
-            return;   // it may act on by its earlier word, no longer
+            return; // it may act on by its earlier word, no longer
         }
         sureUntil = Math.max(sureUntil, sentNs + (long) (boundNs * (1 - drift) / (1 + drift)));
         tableMs = o.nowMs();
@@ -78,6 +78,8 @@
 
     /** How long ago the last confirmation that counts was sent, in nanoseconds; the longest there is where there was none. */
     public long ageNs(long nowNs) {
-        return sureUntil == Long.MIN_VALUE ? Long.MAX_VALUE : nowNs - (sureUntil - (long) (boundNs * (1 - drift) / (1 + drift)));
+        return sureUntil == Long.MIN_VALUE
+                ? Long.MAX_VALUE
+                : nowNs - (sureUntil - (long) (boundNs * (1 - drift) / (1 + drift)));
     }
 }
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -18,9 +18,12 @@
  */
 public final class VersionTable {
     public enum Op {
-        @JsonProperty("PROPOSE") PROPOSE,
-        @JsonProperty("CHECKED") CHECKED,
-        @JsonProperty("CONFIRM") CONFIRM
+        @JsonProperty("PROPOSE")
+        PROPOSE,
+        @JsonProperty("CHECKED")
+        CHECKED,
+        @JsonProperty("CONFIRM")
+        CONFIRM
     }
 
     /**
@@ -43,15 +46,24 @@
             if (op == null || member == null || !member.matches("[A-Za-z0-9._-]{1,64}")) {
                 throw new IllegalArgumentException("member '" + member + "': 1 to 64 of A-Z a-z 0-9 . _ - allowed");
             }
-            if (op == Op.PROPOSE && (texts == null || Version.size(texts) > MOST || note == null || note.length() > MOST_NOTE)) {
-                throw new IllegalArgumentException("a version has at most " + MOST + " characters, and a note " + MOST_NOTE);
+            if (op == Op.PROPOSE
+                    && (texts == null || Version.size(texts) > MOST || note == null || note.length() > MOST_NOTE)) {
+                throw new IllegalArgumentException(
+                        "a version has at most " + MOST + " characters, and a note " + MOST_NOTE);
             }
             if (op == Op.PROPOSE && (boundMs < 1 || leadMs < boundMs || members < 1)) {
                 throw new IllegalArgumentException("a version takes effect no sooner than the bound after its commit");
             }
         }
 
-        public static Command propose(String member, long parent, String note, Map<String, String> texts, int members, long boundMs, long leadMs) {
+        public static Command propose(
+                String member,
+                long parent,
+                String note,
+                Map<String, String> texts,
+                int members,
+                long boundMs,
+                long leadMs) {
             return new Command(Op.PROPOSE, member, parent, note, texts, "", members, boundMs, leadMs, 0);
         }
 
@@ -69,7 +81,10 @@
     }
 
     /** {@code word}: empty, or why it was refused; {@code latest}: the newest committed version, {@code nowMs} the table's time. */
-    public record Outcome(@JsonProperty("word") String word, @JsonProperty("latest") long latest, @JsonProperty("nowMs") long nowMs) {}
+    public record Outcome(
+            @JsonProperty("word") String word,
+            @JsonProperty("latest") long latest,
+            @JsonProperty("nowMs") long nowMs) {}
 
     /** A proposal that is looked at, and what was found: by member, empty for nothing. */
     public record Pending(
@@ -81,16 +96,20 @@
             @JsonProperty("found") Map<String, String> found) {}
 
     /** What became of a proposal, for those who ask. */
-    public record Ended(@JsonProperty("number") long number, @JsonProperty("hash") String hash, @JsonProperty("word") String word) {}
+    public record Ended(
+            @JsonProperty("number") long number,
+            @JsonProperty("hash") String hash,
+            @JsonProperty("word") String word) {}
 
     /** The most characters of a version, as one entry of the log holds; of a note; versions that are kept. */
     public static final int MOST = 40_000, MOST_NOTE = 200, KEPT = 12;
 
     private final TreeMap<Long, Version> committed = new TreeMap<>();
-    private final Map<String, Long> confirmed = new LinkedHashMap<>();   // by member: when it last did, in the table's time
+    private final Map<String, Long> confirmed =
+            new LinkedHashMap<>(); // by member: when it last did, in the table's time
     private Pending pending;
     private Ended ended = new Ended(0, "", "");
-    private long now = Long.MIN_VALUE, last;   // last: the highest number ever given, to a refused one too
+    private long now = Long.MIN_VALUE, last; // last: the highest number ever given, to a refused one too
 
     /** Applies one command in log order. */
     public Outcome apply(Command c) {
@@ -109,16 +128,18 @@
 
     private String propose(Command c) {
         if (asked(c, pending()) || asked(c, latest())) {
-            return "";   // the same once more, since its answer was lost
+            return ""; // the same once more, since its answer was lost
         }
         if (c.number() != latest().number()) {
             return "made from version " + c.number() + ", the latest is " + latest().number();
         }
         if (pending != null) {
-            return "version " + pending.version.number() + " of " + pending.version.author() + " is looked at, ask again when that has ended";
+            return "version " + pending.version.number() + " of " + pending.version.author()
+                    + " is looked at, ask again when that has ended";
         }
         if (now < latest().effectMs()) {
-            return "version " + latest().number() + " takes effect in " + (latest().effectMs() - now) + " ms, ask again then";
+            return "version " + latest().number() + " takes effect in " + (latest().effectMs() - now)
+                    + " ms, ask again then";
         }
         Version v = Version.of(++last, c.number(), c.member(), c.note(), c.texts());
         pending = new Pending(v, c.members(), c.boundMs(), c.leadMs(), now, new LinkedHashMap<>());
@@ -126,7 +147,12 @@
     }
 
     private static boolean asked(Command c, Version v) {
-        return v != null && v.number() > 0 && v.parent() == c.number() && v.author().equals(c.member()) && v.note().equals(c.note()) && v.texts().equals(c.texts());
+        return v != null
+                && v.number() > 0
+                && v.parent() == c.number()
+                && v.author().equals(c.member())
+                && v.note().equals(c.note())
+                && v.texts().equals(c.texts());
     }
 
     private String checked(Command c) {
@@ -148,10 +174,15 @@
                 return;
             }
         }
-        boolean waited = now - pending.fromMs >= pending.boundMs;   // whoever has not confirmed since acts on nothing it doubts
-        List<String> there = confirmed.entrySet().stream().filter(e -> now - e.getValue() < pending.boundMs).map(Map.Entry::getKey).toList();
+        boolean waited =
+                now - pending.fromMs >= pending.boundMs; // whoever has not confirmed since acts on nothing it doubts
+        List<String> there = confirmed.entrySet().stream()
+                .filter(e -> now - e.getValue() < pending.boundMs)
+                .map(Map.Entry::getKey)
+                .toList();
         boolean majority = 2 * pending.found.size() > pending.members;
-        if (pending.found.size() >= pending.members || majority && waited && pending.found.keySet().containsAll(there)) {
+        if (pending.found.size() >= pending.members
+                || majority && waited && pending.found.keySet().containsAll(there)) {
             committed.put(pending.version.number(), pending.version.effective(now + pending.leadMs));
             while (committed.size() > KEPT) {
                 committed.pollFirstEntry();
@@ -205,8 +236,15 @@
             @JsonProperty("last") long last) {}
 
     public Image image() {
-        Pending p = pending == null ? null : new Pending(pending.version, pending.members, pending.boundMs, pending.leadMs, pending.fromMs,
-                new LinkedHashMap<>(pending.found));
+        Pending p = pending == null
+                ? null
+                : new Pending(
+                        pending.version,
+                        pending.members,
+                        pending.boundMs,
+                        pending.leadMs,
+                        pending.fromMs,
+                        new LinkedHashMap<>(pending.found));
         return new Image(all(), new LinkedHashMap<>(confirmed), p, ended, now, last);
     }
 
--- a/src/main/java/elderseam/fleet/lease/LeaderClock.java
+++ b/src/main/java/elderseam/fleet/lease/LeaderClock.java
@@ -13,7 +13,7 @@
 
     /** The stamp in milliseconds of the table's time, in the leader's {@code term}, at {@code nowNs} of its clock. */
     long stamp(long term, long tableMs, long nowNs) {
-        if (term != this.term) {   // a lead that was lost and won back begins anew: others stamped meanwhile
+        if (term != this.term) { // a lead that was lost and won back begins anew: others stamped meanwhile
             this.term = term;
             baseMs = Math.max(0, tableMs);
             fromNs = nowNs;
--- a/src/main/java/elderseam/fleet/lease/LeaseCodec.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseCodec.java
@@ -21,7 +21,7 @@
         try {
             return ByteString.copyFrom(JSON.writeValueAsBytes(value));
         } catch (IOException e) {
-            throw new UncheckedIOException(e);   // records of strings and numbers always encode
+            throw new UncheckedIOException(e); // records of strings and numbers always encode
         }
     }
 
@@ -36,6 +36,7 @@
 
     /** A command on versions stands behind this byte, which begins no JSON. */
     private static final byte VERSIONS = 'V';
+
     private static final String MORE = "versions";
 
     static boolean isVersions(ByteString bytes) {
@@ -71,7 +72,9 @@
     static Images images(byte[] bytes) throws IOException {
         ObjectNode node = (ObjectNode) JSON.readTree(bytes);
         JsonNode versions = node.remove(MORE);
-        return new Images(JSON.treeToValue(node, LeaseTable.Image.class), versions == null ? null : JSON.treeToValue(versions, VersionTable.Image.class));
+        return new Images(
+                JSON.treeToValue(node, LeaseTable.Image.class),
+                versions == null ? null : JSON.treeToValue(versions, VersionTable.Image.class));
     }
 
     static LeaseTable.Outcome outcome(ByteString bytes) throws IOException {
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -27,11 +27,11 @@
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.retry.RetryPolicies;
 import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
-import org.apache.ratis.retry.RetryPolicies;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
@@ -48,7 +48,8 @@
     private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
 
     public static final long SNAPSHOT_EVERY = 2_000;
-    private static final int TRIES = 3, MEMBERS_TRIES = 12;   // a new member learns the whole log before a change of members is agreed
+    private static final int TRIES = 3,
+            MEMBERS_TRIES = 12; // a new member learns the whole log before a change of members is agreed
 
     /**
      * The engine's own copy of Netty would take two arenas of memory a core, for a few messages a second. Its threads are another
@@ -60,11 +61,20 @@
 
     static {
         ENGINE.setLevel(java.util.logging.Level.WARNING);
-        Map.of("eventLoopThreads", "16", "allocator.numDirectArenas", "1", "allocator.numHeapArenas", "1", "allocator.maxOrder", "3").forEach((name, value) -> {
-            if (System.getProperty(NETTY + name) == null) {
-                System.setProperty(NETTY + name, value);
-            }
-        });
+        Map.of(
+                        "eventLoopThreads",
+                        "16",
+                        "allocator.numDirectArenas",
+                        "1",
+                        "allocator.numHeapArenas",
+                        "1",
+                        "allocator.maxOrder",
+                        "3")
+                .forEach((name, value) -> {
+                    if (System.getProperty(NETTY + name) == null) {
+                        System.setProperty(NETTY + name, value);
+                    }
+                });
     }
 
     private final RaftServer server;
@@ -74,10 +84,16 @@
     private final String holder;
     private final java.util.concurrent.ExecutorService asker;
 
-    private RaftClient client;      // of the asking thread, and closed by the last
-    private RaftPeerId asks;        // whom it takes for the leader
+    private RaftClient client; // of the asking thread, and closed by the last
+    private RaftPeerId asks; // whom it takes for the leader
 
-    private LeaseGroup(RaftServer server, LeaseMachine machine, RaftGroup founding, RaftProperties properties, String self, String holder) {
+    private LeaseGroup(
+            RaftServer server,
+            LeaseMachine machine,
+            RaftGroup founding,
+            RaftProperties properties,
+            String self,
+            String holder) {
         this.server = server;
         this.machine = machine;
         this.founding = founding;
@@ -99,8 +115,17 @@
      * with each start of the process, so that a lease of the process before it is another holder's. {@code clock}: monotonic,
      * in nanoseconds. {@code snapshotEvery}: commands from one snapshot to the next, {@link #SNAPSHOT_EVERY} as a rule.
      */
-    public record Opening(String fleet, String self, InetSocketAddress listen, Map<String, InetSocketAddress> peers, Path folder, long electionMs,
-                          String life, LongSupplier clock, LeaseMachine.Watch watch, long snapshotEvery) {}
+    public record Opening(
+            String fleet,
+            String self,
+            InetSocketAddress listen,
+            Map<String, InetSocketAddress> peers,
+            Path folder,
+            long electionMs,
+            String life,
+            LongSupplier clock,
+            LeaseMachine.Watch watch,
+            long snapshotEvery) {}
 
     public static LeaseGroup start(Opening o) throws IOException {
         Lean.manageable();
@@ -111,43 +136,59 @@
         RaftServerConfigKeys.setStorageDir(properties, List.of(o.folder().toFile()));
         // One that joins begins with no members at all, and learns them from the leader that takes it in.
         RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
-        boolean kept = Files.isDirectory(o.folder().resolve(group.getGroupId().getUuid().toString()));
+        boolean kept = Files.isDirectory(
+                o.folder().resolve(group.getGroupId().getUuid().toString()));
         LeaseMachine machine = new LeaseMachine(o.clock(), o.watch());
-        RaftServer server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(o.self())).setGroup(own)
-                .setStateMachine(machine).setProperties(properties)
-                .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
+        RaftServer server = RaftServer.newBuilder()
+                .setServerId(RaftPeerId.valueOf(o.self()))
+                .setGroup(own)
+                .setStateMachine(machine)
+                .setProperties(properties)
+                .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT)
+                .build();
         server.start();
         return new LeaseGroup(server, machine, group, properties, o.self(), o.self() + "/" + o.life());
     }
 
     /** Makes these the group's members, all at once, while leases are held; done once the group has agreed. */
     public CompletableFuture<Void> members(Map<String, InetSocketAddress> wanted) {
-        return CompletableFuture.runAsync(() -> {
-            try {
-                RaftClientReply reply = tried(MEMBERS_TRIES, c -> c.admin().setConfiguration(peers(wanted)));
-                if (!reply.isSuccess()) {
-                    throw new IOException("lease group: " + reply.getException());
-                }
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            }
-        }, asker);
+        return CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        RaftClientReply reply =
+                                tried(MEMBERS_TRIES, c -> c.admin().setConfiguration(peers(wanted)));
+                        if (!reply.isSuccess()) {
+                            throw new IOException("lease group: " + reply.getException());
+                        }
+                    } catch (IOException e) {
+                        throw new java.io.UncheckedIOException(e);
+                    }
+                },
+                asker);
     }
 
     /** The members as this one has them, in the order of their names. */
     public List<String> members() throws IOException {
         return server.getDivision(server.getGroupIds().iterator().next()).getRaftConf().getCurrentPeers().stream()
-                .map(p -> p.getId().toString()).sorted().toList();
+                .map(p -> p.getId().toString())
+                .sorted()
+                .toList();
     }
 
     private static List<RaftPeer> peers(Map<String, InetSocketAddress> members) {
-        return members.entrySet().stream().sorted(Map.Entry.comparingByKey())
-                .map(e -> RaftPeer.newBuilder().setId(e.getKey()).setAddress(e.getValue().getHostString() + ":" + e.getValue().getPort()).build())
+        return members.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(e -> RaftPeer.newBuilder()
+                        .setId(e.getKey())
+                        .setAddress(e.getValue().getHostString() + ":"
+                                + e.getValue().getPort())
+                        .build())
                 .toList();
     }
 
     static RaftGroup group(String fleet, Map<String, InetSocketAddress> peers) {
-        RaftGroupId id = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(("elderseam-leases:" + fleet).getBytes(StandardCharsets.UTF_8)));
+        RaftGroupId id = RaftGroupId.valueOf(
+                UUID.nameUUIDFromBytes(("elderseam-leases:" + fleet).getBytes(StandardCharsets.UTF_8)));
         return RaftGroup.valueOf(id, peers(peers));
     }
 
@@ -156,11 +197,14 @@
         RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.NETTY);
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Rpc.setTimeoutMax(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
-        // One that has lost its lead for want of answers lets others stand first, by the engine's default for 10 s: where the others were
+        // One that has lost its lead for want of answers lets others stand first, by the engine's default for 10 s:
+        // where the others were
         // the ones that were cut off, nobody would stand so long.
-        RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
+        RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(
+                properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
         // A request to a member that is gone waits this long before the client turns to the next one.
-        RaftClientConfigKeys.Rpc.setRequestTimeout(properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
+        RaftClientConfigKeys.Rpc.setRequestTimeout(
+                properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
         // The table is small and each command short: a snapshot every so often, and the log before it goes.
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
         RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, snapshotEvery);
@@ -186,10 +230,14 @@
         }
         if (client == null) {
             RaftGroup now = own.getGroup().getPeers().isEmpty() ? founding : own.getGroup();
-            RaftClient.Builder b = RaftClient.newBuilder().setProperties(properties).setRaftGroup(now).setClientId(ClientId.randomId())
+            RaftClient.Builder b = RaftClient.newBuilder()
+                    .setProperties(properties)
+                    .setRaftGroup(now)
+                    .setClientId(ClientId.randomId())
                     .setParameters(new Parameters())
                     // A request that meets a member who does not lead goes on to the one it names.
-                    .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(2, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)));
+                    .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(
+                            2, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)));
             asks = leader != null && now.getPeer(leader) != null ? leader : null;
             client = (asks == null ? b : b.setLeaderId(asks)).build();
         }
@@ -269,13 +317,15 @@
     private <T> CompletableFuture<T> ask(Message message, Decoded<T> decoded) {
         // The blocking client turns to the next member when one is gone; the ordered async one was seen to wait on a
         // closed member for over 20 s. Its one thread keeps the calls in order and off every caller's thread.
-        return CompletableFuture.supplyAsync(() -> {
-            try {
-                return outcome(tried(TRIES, c -> c.io().send(message)), decoded);
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            }
-        }, asker);
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return outcome(tried(TRIES, c -> c.io().send(message)), decoded);
+                    } catch (IOException e) {
+                        throw new java.io.UncheckedIOException(e);
+                    }
+                },
+                asker);
     }
 
     private static <T> T outcome(RaftClientReply reply, Decoded<T> decoded) {
--- a/src/main/java/elderseam/fleet/lease/LeaseHolder.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseHolder.java
@@ -33,15 +33,21 @@
     private final long ttlMs;
     private final Map<String, LeaseKeeper> keepers = new LinkedHashMap<>();
     private final Map<String, Tenure> tenures = new ConcurrentHashMap<>();
-    private final Map<String, Long> others = new ConcurrentHashMap<>();   // until when another holds it
+    private final Map<String, Long> others = new ConcurrentHashMap<>(); // until when another holds it
     private final Set<String> wanted = ConcurrentHashMap.newKeySet(), freed = ConcurrentHashMap.newKeySet();
     private final Tenure.Bounds bounds;
     private final SplittableRandom random;
     private final Thread thread;
     private volatile boolean stopped;
 
-    public LeaseHolder(LeaseGroup group, List<String> leases, long ttlMs, Tenure.Bounds bounds, SplittableRandom random, LongSupplier clock,
-                       Events events) {
+    public LeaseHolder(
+            LeaseGroup group,
+            List<String> leases,
+            long ttlMs,
+            Tenure.Bounds bounds,
+            SplittableRandom random,
+            LongSupplier clock,
+            Events events) {
         this.group = group;
         this.clock = clock;
         this.events = events;
@@ -117,10 +123,13 @@
 
     private void ask(String lease, LeaseKeeper keeper, LeaseKeeper.Step step) {
         events.asked(lease, step.ask(), step.token());
-        long sent = clock.getAsLong();   // before the send: the group stamps later than this
+        long sent = clock.getAsLong(); // before the send: the group stamps later than this
         LeaseTable.Outcome outcome = null;
         try {
-            outcome = (step.ask() == LeaseKeeper.Ask.RENEW ? group.renew(lease, step.token(), ttlMs) : group.acquire(lease, ttlMs)).get();
+            outcome = (step.ask() == LeaseKeeper.Ask.RENEW
+                            ? group.renew(lease, step.token(), ttlMs)
+                            : group.acquire(lease, ttlMs))
+                    .get();
         } catch (ExecutionException e) {
             // no answer in its time: told as null
         } catch (InterruptedException e) {
@@ -149,6 +158,8 @@
         tenures.clear();
         held.keySet().forEach(events::released);
         LockSupport.unpark(thread);
-        return CompletableFuture.allOf(held.entrySet().stream().map(e -> group.release(e.getKey(), e.getValue().token())).toArray(CompletableFuture[]::new));
+        return CompletableFuture.allOf(held.entrySet().stream()
+                .map(e -> group.release(e.getKey(), e.getValue().token()))
+                .toArray(CompletableFuture[]::new));
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
@@ -12,7 +12,9 @@
 public final class LeaseKeeper {
     /** What to ask now; {@code NONE}: nothing before {@code atNs}. */
     public enum Ask {
-        NONE("NONE"), ACQUIRE("ACQUIRE"), RENEW("RENEW");
+        NONE("NONE"),
+        ACQUIRE("ACQUIRE"),
+        RENEW("RENEW");
 
         private final String wireName;
 
@@ -60,9 +62,9 @@
             nextAt = tenure.renewByNs();
             return;
         }
-        tenure = null;   // the table has another holder, or has seen the lease end
+        tenure = null; // the table has another holder, or has seen the lease end
         long again = Math.min(ttlMs, outcome.againMs()) * MS;
-        othersUntil = again > 0 ? now + again + ttlMs * MS / 10 : Long.MIN_VALUE;   // until it has been asked for again
+        othersUntil = again > 0 ? now + again + ttlMs * MS / 10 : Long.MIN_VALUE; // until it has been asked for again
         nextAt = now + again + (long) (random.nextDouble() * ttlMs * MS / 20);
     }
 
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseMachine.java
@@ -39,7 +39,7 @@
     public record Versions(Version latest, Version pending, VersionTable.Ended ended, List<Version> all) {}
 
     private final LeaseTable table = new LeaseTable();
-    private final VersionTable versions = new VersionTable();   // under the table's lock too: one clock stamps both
+    private final VersionTable versions = new VersionTable(); // under the table's lock too: one clock stamps both
     private final LeaderClock leading = new LeaderClock();
     private final LongSupplier clock;
     private final Watch watch;
@@ -93,7 +93,8 @@
     private void load() throws IOException {
         SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
         if (snapshot != null) {
-            LeaseCodec.Images images = LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
+            LeaseCodec.Images images =
+                    LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
             synchronized (table) {
                 table.restore(images.leases());
                 if (images.versions() != null) {
@@ -142,8 +143,14 @@
         synchronized (table) {
             stamp = leading.stamp(term, Math.max(table.now(), versions.now()), clock.getAsLong());
         }
-        return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
-                .setLogData(onVersions ? LeaseCodec.encodeVersions(version.stamped(stamp)) : LeaseCodec.encode(command.stamped(stamp))).build();
+        return TransactionContext.newBuilder()
+                .setStateMachine(this)
+                .setClientRequest(request)
+                .setLogData(
+                        onVersions
+                                ? LeaseCodec.encodeVersions(version.stamped(stamp))
+                                : LeaseCodec.encode(command.stamped(stamp)))
+                .build();
     }
 
     @Override
@@ -152,11 +159,12 @@
         ByteString data = entry.getStateMachineLogEntry().getLogData();
         try {
             if (LeaseCodec.isVersions(data)) {
-                return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
+                return CompletableFuture.completedFuture(
+                        Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
             }
             LeaseTable.Command command = LeaseCodec.command(data);
             LeaseTable.Outcome outcome;
-            synchronized (table) {   // the index moves with the table: a snapshot must tell of both or neither
+            synchronized (table) { // the index moves with the table: a snapshot must tell of both or neither
                 outcome = table.apply(command);
                 updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
             }
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -17,10 +17,14 @@
 public final class LeaseTable {
     /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by all but acquire; {@code value} by publish. */
     public enum Op {
-        @JsonProperty("ACQUIRE") ACQUIRE,
-        @JsonProperty("RENEW") RENEW,
-        @JsonProperty("RELEASE") RELEASE,
-        @JsonProperty("PUBLISH") PUBLISH
+        @JsonProperty("ACQUIRE")
+        ACQUIRE,
+        @JsonProperty("RENEW")
+        RENEW,
+        @JsonProperty("RELEASE")
+        RELEASE,
+        @JsonProperty("PUBLISH")
+        PUBLISH
     }
 
     /** One command, as stored in the log: the leader's stamp {@code atMs} is set when the leader takes it in. */
@@ -70,7 +74,10 @@
     }
 
     /** A name's lease: who has it, by which token, until when in the table's time. */
-    public record Lease(@JsonProperty("holder") String holder, @JsonProperty("token") long token, @JsonProperty("untilMs") long untilMs) {}
+    public record Lease(
+            @JsonProperty("holder") String holder,
+            @JsonProperty("token") long token,
+            @JsonProperty("untilMs") long untilMs) {}
 
     /** A lease longer than a minute is a lease that outlives its holder's failure by too long to be of use. */
     public static final long MOST_TTL_MS = 60_000;
@@ -94,7 +101,8 @@
                 if (live && !own) {
                     return Outcome.refused(held, now);
                 }
-                // The holder that asks again keeps its token: a second grant of a new token to the same holder would fence
+                // The holder that asks again keeps its token: a second grant of a new token to the same holder would
+                // fence
                 // off its own acts that are still under way.
                 long token = own ? held.token() : tokens.merge(c.name(), 1L, Long::sum);
                 return grant(c.name(), c.holder(), token, c.ttlMs());
@@ -112,7 +120,7 @@
                 }
                 return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
             }
-            case PUBLISH -> {   // what a holder that no longer holds has found out is not passed on
+            case PUBLISH -> { // what a holder that no longer holds has found out is not passed on
                 if (own && held.token() == c.token()) {
                     published.put(c.name(), c.value());
                     return new Outcome(true, held.holder(), held.token(), held.untilMs(), 0);
--- a/src/main/java/elderseam/fleet/lease/TenureModel.java
+++ b/src/main/java/elderseam/fleet/lease/TenureModel.java
@@ -17,8 +17,15 @@
  */
 public final class TenureModel {
     /** A schedule that broke the rule: rates of holder and leaders, the grant's delay, the change of lead, the act's true span. */
-    public record Counterexample(double holder, double first, double second, long delayMs, long changeMs, long actFromMs, long actToMs,
-                                 long grantedMs) {}
+    public record Counterexample(
+            double holder,
+            double first,
+            double second,
+            long delayMs,
+            long changeMs,
+            long actFromMs,
+            long actToMs,
+            long grantedMs) {}
 
     private TenureModel() {}
 
@@ -39,7 +46,8 @@
                         for (double holder : rates) {
                             long from = unsafe(tenure, holder, granted, ttlMs, step);
                             if (from >= 0) {
-                                return Optional.of(new Counterexample(holder, first, second, delay, change, from, granted, granted));
+                                return Optional.of(new Counterexample(
+                                        holder, first, second, delay, change, from, granted, granted));
                             }
                         }
                     }
@@ -65,11 +73,14 @@
     private static long secondGrant(long ttlMs, long delay, long change, double first, double second, long aheadMs) {
         LeaseTable table = new LeaseTable();
         LeaderClock one = new LeaderClock(), two = new LeaderClock();
-        table.apply(new Command(Op.ACQUIRE, "task", "p", 0, ttlMs, one.stamp(1, 0, (long) (delay * first * 1_000_000))));
+        table.apply(
+                new Command(Op.ACQUIRE, "task", "p", 0, ttlMs, one.stamp(1, 0, (long) (delay * first * 1_000_000))));
         for (long t = delay; ; t++) {
-            long stamp = t < change ? one.stamp(1, table.now(), (long) (t * first * 1_000_000))
+            long stamp = t < change
+                    ? one.stamp(1, table.now(), (long) (t * first * 1_000_000))
                     : two.stamp(2, table.now(), (long) (t * second * 1_000_000)) + aheadMs;
-            if (table.apply(new Command(Op.ACQUIRE, "task", "q", 0, ttlMs, stamp)).granted()) {
+            if (table.apply(new Command(Op.ACQUIRE, "task", "q", 0, ttlMs, stamp))
+                    .granted()) {
                 return t;
             }
         }
--- a/src/main/java/elderseam/fleet/lease/TrialDuty.java
+++ b/src/main/java/elderseam/fleet/lease/TrialDuty.java
@@ -13,7 +13,11 @@
     public record Turn(boolean wants, boolean defers, boolean tells) {}
 
     /** How the member's own breaker stands: it lends, it is ready for a trial or has one out, it sleeps. */
-    public enum Standing { CLOSED, HALF_OPEN, OPEN }
+    public enum Standing {
+        CLOSED,
+        HALF_OPEN,
+        OPEN
+    }
 
     private final long idleNs, pauseNs;
     private long halfOpenSince = -1, pausedUntil = Long.MIN_VALUE;
@@ -39,7 +43,7 @@
             halfOpenSince = -1;
             return new Turn(holds && !told, false, tells);
         }
-        if (!open) {   // a new outage: what was published of the one before says nothing of it
+        if (!open) { // a new outage: what was published of the one before says nothing of it
             open = true;
             told = false;
             back = false;
--- a/src/main/java/elderseam/fleet/rig/Acts.java
+++ b/src/main/java/elderseam/fleet/rig/Acts.java
@@ -34,8 +34,14 @@
     private long acts;
 
     /** {@code clock}: the member's monotonic nanoseconds, as its tenures are counted in. */
-    public Acts(InetSocketAddress store, String holder, List<String> leases, Function<String, Tenure> tenure, long workNs, LongSupplier clock,
-                History history) {
+    public Acts(
+            InetSocketAddress store,
+            String holder,
+            List<String> leases,
+            Function<String, Tenure> tenure,
+            long workNs,
+            LongSupplier clock,
+            History history) {
         this.store = store;
         this.holder = holder;
         this.tenure = tenure;
@@ -53,7 +59,7 @@
             for (String lease : leases) {
                 Tenure t = tenure.apply(lease);
                 long now = clock.getAsLong();
-                if (t != null && t.mayAct(now, now + 2 * workNs)) {   // the work, and as long again for the store
+                if (t != null && t.mayAct(now, now + 2 * workNs)) { // the work, and as long again for the store
                     act(lease, t);
                     acted = true;
                 }
@@ -75,16 +81,38 @@
                 answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
             }
             socket.setSoTimeout(left(t));
-            byte[] line = (json.writeValueAsString(Map.of("lease", lease, "holder", holder, "token", t.token(), "n", n)) + "\n").getBytes(StandardCharsets.UTF_8);
+            byte[] line = (json.writeValueAsString(Map.of("lease", lease, "holder", holder, "token", t.token(), "n", n))
+                            + "\n")
+                    .getBytes(StandardCharsets.UTF_8);
             socket.getOutputStream().write(line);
             String answer = answers.readLine();
             if (answer == null) {
                 throw new IOException("the store ended the connection");
             }
             JsonNode said = json.readTree(answer);
-            history.add(said.get("admitted").asBoolean() ? "done" : "fenced", "lease", lease, "holder", holder, "token", t.token(), "n", n);
-        } catch (IOException e) {   // whether it took effect is not known
-            history.add("unsure", "lease", lease, "holder", holder, "token", t.token(), "n", n, "why", String.valueOf(e.getMessage()));
+            history.add(
+                    said.get("admitted").asBoolean() ? "done" : "fenced",
+                    "lease",
+                    lease,
+                    "holder",
+                    holder,
+                    "token",
+                    t.token(),
+                    "n",
+                    n);
+        } catch (IOException e) { // whether it took effect is not known
+            history.add(
+                    "unsure",
+                    "lease",
+                    lease,
+                    "holder",
+                    holder,
+                    "token",
+                    t.token(),
+                    "n",
+                    n,
+                    "why",
+                    String.valueOf(e.getMessage()));
             drop();
         }
     }
--- a/src/main/java/elderseam/fleet/rig/Checkers.java
+++ b/src/main/java/elderseam/fleet/rig/Checkers.java
@@ -25,7 +25,9 @@
 
     /** Lines in the order of their instants. */
     Checkers(List<JsonNode> lines) {
-        this.lines = lines.stream().sorted(Comparator.comparingLong(l -> l.get("at_ns").asLong())).toList();
+        this.lines = lines.stream()
+                .sorted(Comparator.comparingLong(l -> l.get("at_ns").asLong()))
+                .toList();
     }
 
     static Checkers read(List<Path> files) throws IOException {
@@ -52,21 +54,24 @@
 
     /** Two holders of a lease never believe to hold it at one instant, and no token is granted to two. */
     List<String> leaseSafety() {
-        Map<String, TreeMap<Long, Belief>> beliefs = new LinkedHashMap<>();   // by lease, by token
+        Map<String, TreeMap<Long, Belief>> beliefs = new LinkedHashMap<>(); // by lease, by token
         List<String> found = new ArrayList<>();
         for (JsonNode l : lines) {
             String type = l.get("type").asText();
             long at = l.get("at_ns").asLong();
             if (type.equals("granted")) {
                 String holder = l.get("holder").asText();
-                TreeMap<Long, Belief> tokens = beliefs.computeIfAbsent(l.get("lease").asText(), k -> new TreeMap<>());
+                TreeMap<Long, Belief> tokens =
+                        beliefs.computeIfAbsent(l.get("lease").asText(), k -> new TreeMap<>());
                 long token = l.get("token").asLong(), until = l.get("until_ns").asLong();
                 Belief b = tokens.get(token);
                 if (b != null && !b.holder.equals(holder)) {
                     found.add("lease safety: token " + token + " was granted to " + b.holder + " and to " + holder);
                 }
-                tokens.put(token, new Belief(holder, b == null ? at : b.from, Math.max(until, b == null ? 0 : b.until)));
-            } else if (type.equals("refused") || type.equals("released")) {   // it believes no longer, whatever its term was
+                tokens.put(
+                        token, new Belief(holder, b == null ? at : b.from, Math.max(until, b == null ? 0 : b.until)));
+            } else if (type.equals("refused")
+                    || type.equals("released")) { // it believes no longer, whatever its term was
                 ends(beliefs.get(l.get("lease").asText()), l.get("holder").asText(), at);
             } else if (type.equals("killed")) {
                 beliefs.values().forEach(tokens -> ends(tokens, l.get("member").asText() + "/", at));
@@ -77,8 +82,8 @@
             for (Map.Entry<Long, Belief> e : tokens.entrySet()) {
                 Belief b = e.getValue();
                 if (before != null && b.from < before.until) {
-                    found.add("lease safety: " + b.holder + " held " + lease + " by token " + e.getKey() + " " + (before.until - b.from) / 1_000
-                            + " us before " + before.holder + " had stopped");
+                    found.add("lease safety: " + b.holder + " held " + lease + " by token " + e.getKey() + " "
+                            + (before.until - b.from) / 1_000 + " us before " + before.holder + " had stopped");
                 }
                 before = before == null || b.until > before.until ? b : before;
             }
@@ -88,7 +93,8 @@
 
     private static void ends(TreeMap<Long, Belief> tokens, String whose, long at) {
         if (tokens != null) {
-            tokens.replaceAll((token, b) -> b.holder.startsWith(whose) && b.until > at ? new Belief(b.holder, b.from, at) : b);
+            tokens.replaceAll(
+                    (token, b) -> b.holder.startsWith(whose) && b.until > at ? new Belief(b.holder, b.from, at) : b);
         }
     }
 
@@ -125,8 +131,11 @@
             String type = l.get("type").asText();
             long at = l.get("at_ns").asLong();
             boolean effect = type.equals("effect") && l.get("admitted").asBoolean();
-            if (healed >= 0 && (effect || type.equals("healed") || type.equals("end")) && at - healed > mostMs * 1_000_000) {
-                found.add("liveness: " + (effect ? (at - healed) / 1_000_000 + " ms" : "no act") + " after a heal, at most " + mostMs + " ms allowed");
+            if (healed >= 0
+                    && (effect || type.equals("healed") || type.equals("end"))
+                    && at - healed > mostMs * 1_000_000) {
+                found.add("liveness: " + (effect ? (at - healed) / 1_000_000 + " ms" : "no act")
+                        + " after a heal, at most " + mostMs + " ms allowed");
                 healed = -1;
             }
             healed = effect ? -1 : type.equals("healed") ? at : healed;
@@ -144,13 +153,18 @@
      */
     List<String> agreement(long mostMs, long stepMs) {
         List<String> found = new ArrayList<>();
-        longest(false).filter(d -> d.ns > mostMs * 1_000_000).ifPresent(d -> found.add("agreement: " + d + ", at most " + mostMs + " ms allowed"));
-        longest(true).filter(d -> d.ns > stepMs * 1_000_000).ifPresent(d -> found.add("agreement: " + d + " while one member led, at most " + stepMs
-                + " ms allowed"));
+        longest(false)
+                .filter(d -> d.ns > mostMs * 1_000_000)
+                .ifPresent(d -> found.add("agreement: " + d + ", at most " + mostMs + " ms allowed"));
+        longest(true)
+                .filter(d -> d.ns > stepMs * 1_000_000)
+                .ifPresent(
+                        d -> found.add("agreement: " + d + " while one member led, at most " + stepMs + " ms allowed"));
         Map<Long, String> hashes = new HashMap<>();
         for (JsonNode l : lines) {
             if (l.get("type").asText().equals("acting")) {
-                String hash = l.get("hash").asText(), first = hashes.putIfAbsent(l.get("number").asLong(), hash);
+                String hash = l.get("hash").asText(),
+                        first = hashes.putIfAbsent(l.get("number").asLong(), hash);
                 if (first != null && !first.equals(hash)) {
                     found.add("agreement: version " + l.get("number").asLong() + " is " + first + " and " + hash);
                 }
@@ -168,7 +182,8 @@
     private record Disagreement(Acting a, Acting b, long ns) {
         @Override
         public String toString() {
-            return a.process + " acted on version " + a.number + " and " + b.process + " on version " + b.number + " for " + ns / 1_000_000 + " ms";
+            return a.process + " acted on version " + a.number + " and " + b.process + " on version " + b.number
+                    + " for " + ns / 1_000_000 + " ms";
         }
     }
 
@@ -177,8 +192,11 @@
         Map<String, Long> proposed = new HashMap<>();
         List<Long> all = new ArrayList<>();
         for (JsonNode l : lines) {
-            if (l.get("type").asText().equals("propose") && l.get("answer").asText().startsWith("200 asked ")) {
-                proposed.putIfAbsent(l.get("answer").asText().split("[ ;]")[2], l.get("at_ns").asLong());
+            if (l.get("type").asText().equals("propose")
+                    && l.get("answer").asText().startsWith("200 asked ")) {
+                proposed.putIfAbsent(
+                        l.get("answer").asText().split("[ ;]")[2],
+                        l.get("at_ns").asLong());
             } else if (l.get("type").asText().equals("acting")) {
                 Long from = proposed.remove(l.get("hash").asText());
                 if (from != null) {
@@ -212,11 +230,14 @@
         List<Span> spans = steady ? steady() : List.of();
         Disagreement longest = null;
         List<Acting> open = new ArrayList<>();
-        for (Acting a : all) {   // by their beginnings
+        for (Acting a : all) { // by their beginnings
             open.removeIf(o -> o.until <= a.from);
             for (Acting o : open) {
                 long ns = Math.min(o.until, a.until) - a.from;
-                if (o.number != a.number && !o.process.equals(a.process) && (longest == null || ns > longest.ns) && (!steady || spans.stream().anyMatch(p -> p.from <= a.from && a.from <= p.to))) {
+                if (o.number != a.number
+                        && !o.process.equals(a.process)
+                        && (longest == null || ns > longest.ns)
+                        && (!steady || spans.stream().anyMatch(p -> p.from <= a.from && a.from <= p.to))) {
                     longest = new Disagreement(o, a, ns);
                 }
             }
@@ -229,13 +250,15 @@
     private List<Acting> actings() {
         List<Acting> all = new ArrayList<>();
         Map<String, Acting> now = new HashMap<>(), stopped = new HashMap<>();
-        long last = lines.isEmpty() ? 0 : lines.get(lines.size() - 1).get("at_ns").asLong();
+        long last =
+                lines.isEmpty() ? 0 : lines.get(lines.size() - 1).get("at_ns").asLong();
         for (JsonNode l : lines) {
             String type = l.get("type").asText();
             long at = l.get("at_ns").asLong();
             if (type.equals("acting")) {
                 String process = l.get("process").asText();
-                long number = l.get("number").asLong(), until = l.get("until_ns").asLong();
+                long number = l.get("number").asLong(),
+                        until = l.get("until_ns").asLong();
                 Acting before = now.get(process);
                 if (before != null && before.number == number && before.until >= at) {
                     now.put(process, new Acting(process, number, before.from, until));
@@ -249,8 +272,10 @@
                 if (a != null && type.equals("stopped")) {
                     stopped.put(a.process, a);
                 }
-            } else if (type.equals("resumed") && stopped.containsKey(l.get("member").asText())) {
-                Acting a = stopped.remove(l.get("member").asText());   // it goes on where it was, for what is left of its word
+            } else if (type.equals("resumed")
+                    && stopped.containsKey(l.get("member").asText())) {
+                Acting a = stopped.remove(
+                        l.get("member").asText()); // it goes on where it was, for what is left of its word
                 now.put(a.process, new Acting(a.process, a.number, at, a.until));
             }
         }
@@ -279,7 +304,9 @@
                 }
                 acting = l.get("holder").asText();
                 token = l.get("token").asLong();
-            } else if ((type.equals("killed") || type.equals("ending")) && killed < 0 && acting.startsWith(l.get("member").asText() + "/")) {
+            } else if ((type.equals("killed") || type.equals("ending"))
+                    && killed < 0
+                    && acting.startsWith(l.get("member").asText() + "/")) {
                 killed = l.get("at_ns").asLong();
             }
         }
@@ -293,6 +320,9 @@
 
     /** How many acts the store refused by their token. */
     long fenced() {
-        return lines.stream().filter(l -> l.get("type").asText().equals("effect") && !l.get("admitted").asBoolean()).count();
+        return lines.stream()
+                .filter(l -> l.get("type").asText().equals("effect")
+                        && !l.get("admitted").asBoolean())
+                .count();
     }
 }
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/fleet/rig/Cluster.java
@@ -51,17 +51,17 @@
     private final Store store;
     private final History history;
     private final FaultProxy toStore;
-    private final String place;   // a loopback address of this cluster's own: no port of it is another's
+    private final String place; // a loopback address of this cluster's own: no port of it is another's
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
     private final GossipPlaces gossips;
     private final Map<String, Long> pids = new ConcurrentHashMap<>();
-    private final Map<String, Long> stalled = new LinkedHashMap<>();   // until when, of the machine's clock
-    private final List<String> group = new ArrayList<>();              // who is in the lease group
+    private final Map<String, Long> stalled = new LinkedHashMap<>(); // until when, of the machine's clock
+    private final List<String> group = new ArrayList<>(); // who is in the lease group
     private volatile String leader = "", holder = "";
     private volatile Store.Effect newest;
     private final Object saying = new Object();
-    private final Map<String, List<String>> last = new LinkedHashMap<>();   // what each has said, under saying
+    private final Map<String, List<String>> last = new LinkedHashMap<>(); // what each has said, under saying
     private int named;
     private final Queue<Process> started = new ConcurrentLinkedQueue<>();
     private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
@@ -84,7 +84,7 @@
         history = new History(folder.resolve("rig.jsonl"), "rig");
         store = new Store(history, setup.fenced(), this::effect);
         toStore = new FaultProxy(network, STORE, store.address(), () -> pids);
-        Runtime.getRuntime().addShutdownHook(ends);   // an interrupted test leaves no process behind
+        Runtime.getRuntime().addShutdownHook(ends); // an interrupted test leaves no process behind
         try {
             begin();
         } catch (IOException e) {
@@ -130,8 +130,23 @@
         if (!setup.gossip().isEmpty()) {
             gossips.add(name, named);
         }
-        Member m = new Member(name, own, Map.of("RELAY_NAME", name, "RELAY_LISTEN", "127.0.0.1:0", "RELAY_CONTROL", "127.0.0.1:0", "RELAY_DISCOVERY",
-                outside.address(), "RELAY_STATE", own.resolve("state").toString(), "RELAY_CONFIG", own.resolve("config.json").toString()), line -> said(name, line));
+        Member m = new Member(
+                name,
+                own,
+                Map.of(
+                        "RELAY_NAME",
+                        name,
+                        "RELAY_LISTEN",
+                        "127.0.0.1:0",
+                        "RELAY_CONTROL",
+                        "127.0.0.1:0",
+                        "RELAY_DISCOVERY",
+                        outside.address(),
+                        "RELAY_STATE",
+                        own.resolve("state").toString(),
+                        "RELAY_CONFIG",
+                        own.resolve("config.json").toString()),
+                line -> said(name, line));
         members.put(name, m);
         return m;
     }
@@ -152,12 +167,30 @@
 
     private void configure(String name) throws IOException {
         int number = Integer.parseInt(name.substring(1));
-        String peers = String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
-        Files.writeString(folder.resolve(name).resolve("elderseam.ini"), !setup.gossip().isEmpty() ? gossip(name) : !setup.leases() ? "# all off\n" : "[fleet]\nlisten = " + place + ":" + (PORT + number)
-                + "\nname = " + name + "\nmembers = " + peers + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs() + "\ndrift_percent = "
-                + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n" + lines(name, "[rehearsal]\nhistory = "
-                + folder.resolve(name + ".jsonl") + (setup.acts() ? "\nstore = 127.0.0.1:" + toStore.address().getPort() : "") + "\nact_ms = 20\nclock_percent = "
-                + plan.clocks().getOrDefault(name, 100) + "\n"));
+        String peers =
+                String.join(" ", group.stream().map(g -> g + "=" + address(g)).toList());
+        Files.writeString(
+                folder.resolve(name).resolve("elderseam.ini"),
+                !setup.gossip().isEmpty()
+                        ? gossip(name)
+                        : !setup.leases()
+                                ? "# all off\n"
+                                : "[fleet]\nlisten = " + place + ":" + (PORT + number)
+                                        + "\nname = " + name + "\nmembers = " + peers
+                                        + (setup.acts() ? "\nleases = " + LEASE : "") + "\nttl_ms = " + plan.ttlMs()
+                                        + "\ndrift_percent = "
+                                        + plan.driftPercent() + "\nelection_ms = " + plan.electionMs() + "\n"
+                                        + lines(
+                                                name,
+                                                "[rehearsal]\nhistory = "
+                                                        + folder.resolve(name + ".jsonl")
+                                                        + (setup.acts()
+                                                                ? "\nstore = 127.0.0.1:"
+                                                                        + toStore.address()
+                                                                                .getPort()
+                                                                : "")
+                                                        + "\nact_ms = 20\nclock_percent = "
+                                                        + plan.clocks().getOrDefault(name, 100) + "\n"));
     }
 
     /** The setup's lines, and those of a rehearsal; where the setup has some of that section itself, they stand together. */
@@ -167,8 +200,8 @@
     }
 
     private String gossip(String name) {
-        return gossips.settings(name) + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl") + "\ngossip_lease = " + setup.gossip() + "\n"
-                + setup.lines().apply(name);
+        return gossips.settings(name) + "[rehearsal]\nhistory = " + folder.resolve(name + ".jsonl")
+                + "\ngossip_lease = " + setup.gossip() + "\n" + setup.lines().apply(name);
     }
 
     private void start(Member m) throws IOException {
@@ -184,16 +217,30 @@
         String name = switch (role) {
             case "holder" -> holder;
             case "leader" -> leader;
-            case "other" -> group.stream().filter(g -> !g.equals(holder) && !g.equals(leader) && members.get(g).alive()).findFirst().orElse("");
+            case "other" ->
+                group.stream()
+                        .filter(g -> !g.equals(holder)
+                                && !g.equals(leader)
+                                && members.get(g).alive())
+                        .findFirst()
+                        .orElse("");
             default -> role;
         };
         return members.containsKey(name) ? name : group.get(0);
     }
 
     void befall(Fault f) throws IOException {
-        List<String> whom = f.words().stream().filter(w -> !w.matches("\\d+|all")).map(this::who).distinct().toList();
+        List<String> whom = f.words().stream()
+                .filter(w -> !w.matches("\\d+|all"))
+                .map(this::who)
+                .distinct()
+                .toList();
         history.add("fault", "verb", f.verb(), "words", String.join(" ", f.words()), "whom", String.join(" ", whom));
-        long ms = f.words().stream().filter(w -> w.matches("\\d+")).mapToLong(Long::parseLong).findFirst().orElse(0);
+        long ms = f.words().stream()
+                .filter(w -> w.matches("\\d+"))
+                .mapToLong(Long::parseLong)
+                .findFirst()
+                .orElse(0);
         switch (f.verb()) {
             case "isolate" -> cut(whom.get(0), true, true);
             case "mute" -> cut(whom.get(0), true, false);
@@ -207,7 +254,7 @@
                 }
             }
             case "delay" -> network.delay(ms);
-            case "lose" -> network.lose(ms);   // percent
+            case "lose" -> network.lose(ms); // percent
             case "reset" -> {
                 proxies.values().forEach(FaultProxy::reset);
                 gossips.reset();
@@ -229,7 +276,7 @@
                 Member m = members.get(whom.get(0));
                 if (m.alive()) {
                     if (stalled.remove(m.name) != null) {
-                        m.resume();   // a stopped process hears no SIGTERM, and its end would be waited for without end
+                        m.resume(); // a stopped process hears no SIGTERM, and its end would be waited for without end
                     }
                     history.add("ending", "member", m.name);
                     m.end();
@@ -260,12 +307,13 @@
         if (m.alive()) {
             stalled.remove(name);
             m.kill();
-            history.add("killed", "member", name);   // after it is gone: it believed to hold no later than this
+            history.add("killed", "member", name); // after it is gone: it believed to hold no later than this
         }
     }
 
     private void restart() throws IOException {
-        List<Member> back = group.stream().map(members::get).filter(m -> !m.alive()).toList();
+        List<Member> back =
+                group.stream().map(members::get).filter(m -> !m.alive()).toList();
         for (Member m : back) {
             start(m);
         }
@@ -277,14 +325,16 @@
     /** Takes a new member in for one, at a member that lives, and kills the old one once the group has agreed. */
     void replace(String old) throws IOException {
         Member fresh = prepare();
-        configure(fresh.name);   // the group as it stands, without itself: it joins
+        configure(fresh.name); // the group as it stands, without itself: it joins
         start(fresh);
         fresh.ready();
         List<String> wanted = new ArrayList<>(group);
         wanted.remove(old);
         wanted.add(fresh.name);
         Member through = members.get(wanted.get(0));
-        String call = "FLEET " + String.join(" ", wanted.stream().map(g -> g + "=" + address(g)).toList());
+        String call = "FLEET "
+                + String.join(
+                        " ", wanted.stream().map(g -> g + "=" + address(g)).toList());
         String agreed = "members=" + String.join(" ", wanted.stream().sorted().toList()) + "\n";
         history.add("members", "wanted", String.join(" ", wanted));
         long by = System.nanoTime() + 30_000_000_000L;
@@ -293,7 +343,7 @@
             if (System.nanoTime() > by) {
                 throw new IOException("the group did not agree on " + wanted + ": " + through.told("FLEET"));
             }
-            pause(50);   // the group's own word is asked for again; nothing tells of it unasked
+            pause(50); // the group's own word is asked for again; nothing tells of it unasked
         }
         group.clear();
         group.addAll(wanted);
@@ -343,11 +393,12 @@
     boolean granted(String name, long byNs) throws IOException {
         Path lines = folder.resolve(name + ".jsonl");
         long from = Files.exists(lines) ? Files.size(lines) : 0;
-        while (!Files.exists(lines) || !Files.readString(lines).substring((int) from).contains("\"granted\"")) {
+        while (!Files.exists(lines)
+                || !Files.readString(lines).substring((int) from).contains("\"granted\"")) {
             if (System.nanoTime() > byNs) {
                 return false;
             }
-            pause(50);   // a file tells nobody that it has grown
+            pause(50); // a file tells nobody that it has grown
         }
         return true;
     }
@@ -378,8 +429,14 @@
     /** Whose last such word that is. */
     List<String> saying(String about, String word) {
         synchronized (saying) {
-            return group.stream().filter(g -> members.get(g).alive()).filter(g -> last.getOrDefault(g, List.of()).stream()
-                    .filter(l -> l.startsWith(about)).reduce((a, b) -> b).orElse("").equals(about + word)).toList();
+            return group.stream()
+                    .filter(g -> members.get(g).alive())
+                    .filter(g -> last.getOrDefault(g, List.of()).stream()
+                            .filter(l -> l.startsWith(about))
+                            .reduce((a, b) -> b)
+                            .orElse("")
+                            .equals(about + word))
+                    .toList();
         }
     }
 
--- a/src/main/java/elderseam/fleet/rig/DatagramProxy.java
+++ b/src/main/java/elderseam/fleet/rig/DatagramProxy.java
@@ -31,7 +31,8 @@
     private final ScheduledExecutorService late;
 
     /** At {@code port} of 127.0.0.1, for {@code to} which listens at {@code target}; {@code names}: who sends from where. */
-    DatagramProxy(Network network, String to, int port, InetSocketAddress target, Map<SocketAddress, String> names) throws IOException {
+    DatagramProxy(Network network, String to, int port, InetSocketAddress target, Map<SocketAddress, String> names)
+            throws IOException {
         this.network = network;
         this.to = to;
         this.target = target;
@@ -75,7 +76,8 @@
             back = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
             backs.put(sender, back);
             DatagramSocket one = back;
-            daemon(() -> pump(one, (answer, target) -> pass(to, sender, front, answer, from)), "back-" + sender).start();
+            daemon(() -> pump(one, (answer, target) -> pass(to, sender, front, answer, from)), "back-" + sender)
+                    .start();
         }
         pass(sender, to, back, bytes, target);
     }
@@ -84,13 +86,16 @@
         if (!network.datagram(sender, receiver)) {
             return;
         }
-        late.schedule(() -> {
-            try {
-                by.send(new DatagramPacket(bytes, bytes.length, at));
-            } catch (IOException e) {
-                // nobody listens there just now: lost, as datagrams are
-            }
-        }, network.delayMs(), TimeUnit.MILLISECONDS);
+        late.schedule(
+                () -> {
+                    try {
+                        by.send(new DatagramPacket(bytes, bytes.length, at));
+                    } catch (IOException e) {
+                        // nobody listens there just now: lost, as datagrams are
+                    }
+                },
+                network.delayMs(),
+                TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/elderseam/fleet/rig/Fault.java
+++ b/src/main/java/elderseam/fleet/rig/Fault.java
@@ -10,18 +10,18 @@
 record Fault(long atMs, String verb, List<String> words) {
     /** Each verb with the words that it takes: W for whom, N for milliseconds. */
     static final Map<String, String> VERBS = Map.ofEntries(
-            Map.entry("isolate", "W"),      // from all members and the store, both ways
-            Map.entry("partition", "W+"),   // these members from the rest of them; the store is reached by all
-            Map.entry("mute", "W"),         // what it sends is lost, what it is sent arrives
-            Map.entry("deafen", "W"),       // the other way
-            Map.entry("delay", "N"),        // every link, so long
-            Map.entry("lose", "P"),         // so many of a hundred datagrams between members, on every link
-            Map.entry("reset", ""),         // every connection between members and to the store
-            Map.entry("stall", "WN"),       // SIGSTOP, and SIGCONT so much later
-            Map.entry("crash", "W"),        // SIGKILL; started again on its folder at the heal, or by restart
-            Map.entry("end", "W"),          // SIGTERM, as a planned restart begins; back on its folder at the heal
-            Map.entry("replace", "W"),      // a new member is taken in for it while leases are held, then it is killed
-            Map.entry("restart", ""));      // what was crashed starts again
+            Map.entry("isolate", "W"), // from all members and the store, both ways
+            Map.entry("partition", "W+"), // these members from the rest of them; the store is reached by all
+            Map.entry("mute", "W"), // what it sends is lost, what it is sent arrives
+            Map.entry("deafen", "W"), // the other way
+            Map.entry("delay", "N"), // every link, so long
+            Map.entry("lose", "P"), // so many of a hundred datagrams between members, on every link
+            Map.entry("reset", ""), // every connection between members and to the store
+            Map.entry("stall", "WN"), // SIGSTOP, and SIGCONT so much later
+            Map.entry("crash", "W"), // SIGKILL; started again on its folder at the heal, or by restart
+            Map.entry("end", "W"), // SIGTERM, as a planned restart begins; back on its folder at the heal
+            Map.entry("replace", "W"), // a new member is taken in for it while leases are held, then it is killed
+            Map.entry("restart", "")); // what was crashed starts again
 
     private static final String WHO = "holder|leader|other|n\\d{1,3}";
 
@@ -30,7 +30,8 @@
         List<String> all = List.of(text.strip().split("\\s+"));
         String form = VERBS.get(all.get(0));
         if (form == null) {
-            throw new IllegalArgumentException("'" + all.get(0) + "' is no fault, allowed: " + String.join(", ", VERBS.keySet().stream().sorted().toList()));
+            throw new IllegalArgumentException("'" + all.get(0) + "' is no fault, allowed: "
+                    + String.join(", ", VERBS.keySet().stream().sorted().toList()));
         }
         List<String> words = all.subList(1, all.size());
         boolean right = switch (form) {
@@ -42,14 +43,16 @@
             default -> words.size() == 1 && words.get(0).matches(all.get(0).equals("crash") ? WHO + "|all" : WHO);
         };
         if (!right) {
-            throw new IllegalArgumentException("'" + text.strip() + "': allowed after " + all.get(0) + ": " + switch (form) {
-                case "" -> "nothing";
-                case "N" -> "milliseconds, 1 to 60000";
-                case "P" -> "percent, 1 to 100";
-                case "WN" -> "whom (holder, leader, other, nK) and milliseconds, 1 to 60000";
-                case "W+" -> "whom, one or more (holder, leader, other, nK)";
-                default -> "whom (holder, leader, other, nK" + (all.get(0).equals("crash") ? ", all)" : ")");
-            });
+            throw new IllegalArgumentException("'" + text.strip() + "': allowed after " + all.get(0) + ": "
+                    + switch (form) {
+                        case "" -> "nothing";
+                        case "N" -> "milliseconds, 1 to 60000";
+                        case "P" -> "percent, 1 to 100";
+                        case "WN" -> "whom (holder, leader, other, nK) and milliseconds, 1 to 60000";
+                        case "W+" -> "whom, one or more (holder, leader, other, nK)";
+                        default ->
+                            "whom (holder, leader, other, nK" + (all.get(0).equals("crash") ? ", all)" : ")");
+                    });
         }
         return new Fault(atMs, all.get(0), words);
     }
--- a/src/main/java/elderseam/fleet/rig/FaultProxy.java
+++ b/src/main/java/elderseam/fleet/rig/FaultProxy.java
@@ -25,7 +25,8 @@
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    FaultProxy(Network network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids) throws IOException {
+    FaultProxy(Network network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
+            throws IOException {
         this.network = network;
         this.to = to;
         this.target = target;
@@ -63,13 +64,13 @@
         try {
             in.setTcpNoDelay(true);
             String from = SocketOwner.find(in.getPort(), server.getLocalPort(), pids.get());
-            network.pass(from, to);   // a connection comes up only over an open link
+            network.pass(from, to); // a connection comes up only over an open link
             network.pass(to, from);
             out.setTcpNoDelay(true);
             out.connect(target);
             Thread back = start("back", () -> pump(out, in, to, from));
             pump(in, out, from, to);
-            back.join();   // each way ends by itself
+            back.join(); // each way ends by itself
             open.remove(in);
             open.remove(out);
             in.close();
@@ -87,7 +88,7 @@
                 network.pass(sender, receiver);
                 to.getOutputStream().write(chunk, 0, n);
             }
-            network.pass(sender, receiver);   // the end of a process shows no sooner than its bytes would
+            network.pass(sender, receiver); // the end of a process shows no sooner than its bytes would
             to.shutdownOutput();
         } catch (IOException | InterruptedException e) {
             reset(from);
--- a/src/main/java/elderseam/fleet/rig/FleetFigures.java
+++ b/src/main/java/elderseam/fleet/rig/FleetFigures.java
@@ -29,7 +29,10 @@
         Plan plan = new Plan(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
         f.put("members", members);
         processes(f, "off", new Cluster(plan, folder.resolve("off"), Cluster.Setup.OFF));
-        processes(f, "on", new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", false, true)));
+        processes(
+                f,
+                "on",
+                new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", false, true)));
         operations(f, members, folder.resolve("group"));
         return f;
     }
@@ -37,13 +40,21 @@
     private static void processes(Map<String, Object> f, String word, Cluster cluster) throws IOException {
         try (Cluster c = cluster) {
             if (word.equals("on")) {
-                c.say("fleet: ", "another watches discovery", c.group().size() - 1, System.nanoTime() + 30_000_000_000L);
+                c.say(
+                        "fleet: ",
+                        "another watches discovery",
+                        c.group().size() - 1,
+                        System.nanoTime() + 30_000_000_000L);
             }
             long lists = c.outside().lists(), cpu = cpu(c);
-            Cluster.pause(SPAN_S * 1_000L);   // the span that is measured
+            Cluster.pause(SPAN_S * 1_000L); // the span that is measured
             f.put("discovery_calls_per_s_" + word, (double) (c.outside().lists() - lists) / SPAN_S);
-            f.put("idle_cpu_percent_" + word, (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
-            Histogram ready = new Histogram(600_000L, 3), memory = new Histogram(64_000_000L, 3), threads = new Histogram(10_000L, 3);
+            f.put(
+                    "idle_cpu_percent_" + word,
+                    (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
+            Histogram ready = new Histogram(600_000L, 3),
+                    memory = new Histogram(64_000_000L, 3),
+                    threads = new Histogram(10_000L, 3);
             for (String name : c.group()) {
                 Member m = c.member(name);
                 ready.recordValue(m.startMs());
@@ -74,16 +85,27 @@
             }
         }
         Map<String, LeaseGroup> group = new LinkedHashMap<>();
-        Histogram took = new Histogram(60_000_000L, 3);   // microseconds
+        Histogram took = new Histogram(60_000_000L, 3); // microseconds
         try {
             for (String name : peers.keySet()) {
-                group.put(name, LeaseGroup.start(new LeaseGroup.Opening("figures", name, peers.get(name), peers, folder.resolve(name), 500, "1",
-                        System::nanoTime, new LeaseMachine.Watch() { }, LeaseGroup.SNAPSHOT_EVERY)));
+                group.put(
+                        name,
+                        LeaseGroup.start(new LeaseGroup.Opening(
+                                "figures",
+                                name,
+                                peers.get(name),
+                                peers,
+                                folder.resolve(name),
+                                500,
+                                "1",
+                                System::nanoTime,
+                                new LeaseMachine.Watch() {},
+                                LeaseGroup.SNAPSHOT_EVERY)));
             }
             LeaseGroup asking = group.values().iterator().next();
             long began = 0;
             for (int n = 0; n < 2_200; n++) {
-                if (n == 200) {   // those before it warm up, and wait for the first leader
+                if (n == 200) { // those before it warm up, and wait for the first leader
                     began = System.nanoTime();
                 }
                 long sent = System.nanoTime();
@@ -93,7 +115,7 @@
                         took.recordValue((System.nanoTime() - sent) / 1_000);
                     }
                 } catch (ExecutionException e) {
-                    n = Math.min(n, 199);   // no leader yet: begun anew
+                    n = Math.min(n, 199); // no leader yet: begun anew
                 }
             }
             f.put("lease_ops_per_s", Math.round(took.getTotalCount() / ((System.nanoTime() - began) / 1e9)));
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/fleet/rig/FleetRun.java
@@ -14,7 +14,8 @@
 /** A fleet test: rounds of faults against one cluster, and the checkers' word on its whole history. */
 public final class FleetRun {
     /** The faults that can be planted, each to be caught by one checker. */
-    public static final List<String> PLANTS = List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority", "no-confirm", "at-commit");
+    public static final List<String> PLANTS =
+            List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority", "no-confirm", "at-commit");
     /**
      * A test's terms: {@code scenario} a file, {@code leases} or {@code versions}; {@code plant} one of {@link #PLANTS}, or null; {@code
      * members}: how many there are, 0 for as many as the scenario says.
@@ -36,7 +37,8 @@
 
     /** The scenario of versions under a nemesis. */
     public static final String VERSIONS = "versions";
-    static final long LIVENESS_MS = 20_000;   // after a heal: two terms, some elections, and a loaded machine's pace
+
+    static final long LIVENESS_MS = 20_000; // after a heal: two terms, some elections, and a loaded machine's pace
 
     private FleetRun() {}
 
@@ -45,7 +47,10 @@
         Plan plan = plan(t);
         List<String> all = new ArrayList<>();
         for (int n = 0; n < t.rounds(); n++) {
-            all.add(n + ": " + String.join(", ", faults(plan, t, n).stream().map(Fault::toString).toList()));
+            all.add(n + ": "
+                    + String.join(
+                            ", ",
+                            faults(plan, t, n).stream().map(Fault::toString).toList()));
         }
         return all;
     }
@@ -54,13 +59,17 @@
         if (onGossip(t)) {
             return Plan.gossip();
         }
-        Plan plan = onVersions(t) ? Plan.versions("at-commit".equals(t.plant()) ? 5 : 3) : t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
+        Plan plan = onVersions(t)
+                ? Plan.versions("at-commit".equals(t.plant()) ? 5 : 3)
+                : t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
         plan = t.members() == 0 ? plan : plan.of(t.members());
         return "no-margin".equals(t.plant()) ? plan.withoutMargin() : plan;
     }
 
     private static List<Fault> faults(Plan plan, Terms t, int n) {
-        return onVersions(t) ? VersionRun.faults(plan, t, n) : plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
+        return onVersions(t)
+                ? VersionRun.faults(plan, t, n)
+                : plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
     }
 
     /** Plays it; {@code tell} is given a line a round. */
@@ -77,8 +86,9 @@
         if (onGossip(t)) {
             return gossip(plan, t, t.plant().equals("gossip") ? "lowest" : "majority", tell);
         }
-        try (Cluster c = new Cluster(plan, t.folder(), new Cluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
-            c.history().add("healed");   // the first holder is owed as one after a heal is
+        try (Cluster c =
+                new Cluster(plan, t.folder(), new Cluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
+            c.history().add("healed"); // the first holder is owed as one after a heal is
             c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
             for (int n = 0; n < t.rounds(); n++) {
                 List<Fault> faults = faults(plan, t, n);
@@ -132,7 +142,7 @@
     private static void round(Cluster c, Plan plan, List<Fault> faults, boolean heals) throws IOException {
         play(c, plan, faults);
         c.heal(heals);
-        c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);   // none in time is the liveness checker's to tell
+        c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000); // none in time is the liveness checker's to tell
     }
 
     /** Waits, and lets stalled members go at their times. */
--- a/src/main/java/elderseam/fleet/rig/GossipLease.java
+++ b/src/main/java/elderseam/fleet/rig/GossipLease.java
@@ -21,7 +21,8 @@
     private final boolean majority;
     private final int roster;
     private final History history;
-    private boolean complete;   // all of the roster was seen once: before that a member that starts alone would take it at once
+    private boolean
+            complete; // all of the roster was seen once: before that a member that starts alone would take it at once
     private long token;
 
     /** {@code life}: which of this member's processes it is; {@code roster}: how many members there are. */
--- a/src/main/java/elderseam/fleet/rig/GossipPlaces.java
+++ b/src/main/java/elderseam/fleet/rig/GossipPlaces.java
@@ -23,7 +23,8 @@
     private final String place;
     private final Supplier<Map<String, Long>> pids;
     private final Map<String, Place> places = new LinkedHashMap<>();
-    private final Map<SocketAddress, String> speakers = new ConcurrentHashMap<>();   // of datagrams: where each speaks from
+    private final Map<SocketAddress, String> speakers =
+            new ConcurrentHashMap<>(); // of datagrams: where each speaks from
 
     /** {@code folder}: the cluster's; {@code place}: the loopback address on which members listen. */
     GossipPlaces(Network network, Path folder, String place, Supplier<Map<String, Long>> pids) {
@@ -37,13 +38,22 @@
         InetSocketAddress at = new InetSocketAddress(place, PORT + number);
         FaultProxy connections = new FaultProxy(network, name, at, pids);
         speakers.put(at, name);
-        places.put(name, new Place(number, name + " 127.0.0.0/8 " + KeyFile.make(folder.resolve(name).resolve("key")).text(), connections,
-                new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
+        places.put(
+                name,
+                new Place(
+                        number,
+                        name + " 127.0.0.0/8 "
+                                + KeyFile.make(folder.resolve(name).resolve("key"))
+                                        .text(),
+                        connections,
+                        new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
     }
 
     /** The roster of all, once all are there. */
     void roster() throws IOException {
-        Files.write(folder.resolve("roster"), places.values().stream().map(Place::line).toList());
+        Files.write(
+                folder.resolve("roster"),
+                places.values().stream().map(Place::line).toList());
     }
 
     private static String address(Place p) {
@@ -53,9 +63,15 @@
     /** A member's [gossip], its end included. */
     String settings(String name) {
         Place own = places.get(name);
-        String seeds = String.join(" ", places.values().stream().filter(p -> p != own).map(GossipPlaces::address).toList());
-        return "[gossip]\nlisten = " + place + ":" + (PORT + own.number) + "\nadvertise = " + address(own) + "\nname = " + name + "\nkey_file = "
-                + folder.resolve(name).resolve("key") + "\nroster = " + folder.resolve("roster") + "\nseeds = " + seeds + "\n";
+        String seeds = String.join(
+                " ",
+                places.values().stream()
+                        .filter(p -> p != own)
+                        .map(GossipPlaces::address)
+                        .toList());
+        return "[gossip]\nlisten = " + place + ":" + (PORT + own.number) + "\nadvertise = " + address(own) + "\nname = "
+                + name + "\nkey_file = " + folder.resolve(name).resolve("key") + "\nroster = "
+                + folder.resolve("roster") + "\nseeds = " + seeds + "\n";
     }
 
     void reset() {
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/fleet/rig/Member.java
@@ -39,9 +39,19 @@
 
     /** Starts it; {@link #ready} waits until it serves. */
     Process start() throws IOException {
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-Xss256k", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
-                "elderseam.Main", "serve", folder.resolve("elderseam.ini").toString());
+        ProcessBuilder b = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-Xshare:auto",
+                "-Xss256k",
+                "-Xmx64m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "elderseam.Main",
+                "serve",
+                folder.resolve("elderseam.ini").toString());
         b.environment().keySet().removeIf(k -> k.startsWith("RELAY_"));
         b.environment().putAll(variables);
         serving = new CompletableFuture<>();
@@ -58,8 +68,11 @@
 
     private void read(BufferedReader lines, CompletableFuture<String> serves, CompletableFuture<String> controls) {
         String[] at = new String[1];
-        try (Stream<String> all = lines.lines(); var file = Files.newBufferedWriter(folder.resolve("log"), java.nio.file.StandardOpenOption.CREATE,
-                java.nio.file.StandardOpenOption.APPEND)) {
+        try (Stream<String> all = lines.lines();
+                var file = Files.newBufferedWriter(
+                        folder.resolve("log"),
+                        java.nio.file.StandardOpenOption.CREATE,
+                        java.nio.file.StandardOpenOption.APPEND)) {
             all.forEach(line -> {
                 try {
                     file.write(line + "\n");
@@ -80,7 +93,8 @@
         } catch (IOException | UncheckedIOException e) {
             // the process was killed
         }
-        serves.completeExceptionally(new IOException(name + " ended before it was ready; its log is " + folder.resolve("log")));
+        serves.completeExceptionally(
+                new IOException(name + " ended before it was ready; its log is " + folder.resolve("log")));
     }
 
     /** Where it serves, once it says that it is ready. */
@@ -158,13 +172,18 @@
     /** A figure of /proc/PID/status: VmRSS in kB, or Threads. */
     long status(String figure) throws IOException {
         List<String> lines = Files.readAllLines(Path.of("/proc/" + pid() + "/status"));
-        return lines.stream().filter(l -> l.startsWith(figure + ":")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).findFirst().orElse(0);
+        return lines.stream()
+                .filter(l -> l.startsWith(figure + ":"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .findFirst()
+                .orElse(0);
     }
 
     /** Hundredths of a second of processor time that it has used. */
     long ticks() throws IOException {
         String stat = Files.readString(Path.of("/proc/" + pid() + "/stat"));
-        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");   // the name may hold spaces; proc(5) has the rest
+        String[] words =
+                stat.substring(stat.lastIndexOf(')') + 2).split(" "); // the name may hold spaces; proc(5) has the rest
         return Long.parseLong(words[11]) + Long.parseLong(words[12]);
     }
 }
--- a/src/main/java/elderseam/fleet/rig/Nemesis.java
+++ b/src/main/java/elderseam/fleet/rig/Nemesis.java
@@ -7,7 +7,8 @@
 
 /** Random rounds of faults from a seed: one seed and number give one round, whatever befell before it. */
 final class Nemesis {
-    private static final String[] WHO = {"holder", "holder", "leader", "other"};   // the holder's troubles are the ones leases are about
+    private static final String[] WHO = {"holder", "holder", "leader", "other"
+    }; // the holder's troubles are the ones leases are about
 
     private Nemesis() {}
 
--- a/src/main/java/elderseam/fleet/rig/Network.java
+++ b/src/main/java/elderseam/fleet/rig/Network.java
@@ -64,7 +64,7 @@
             delay = delayMs;
         }
         if (delay > 0) {
-            Thread.sleep(delay);   // the delay is what this is for; order is kept, as on a connection
+            Thread.sleep(delay); // the delay is what this is for; order is kept, as on a connection
         }
         synchronized (this) {
             while (!open(from, to)) {
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/fleet/rig/Outside.java
@@ -33,12 +33,15 @@
     private final Io io;
     private final Server server;
     private final Connections client;
-    private final AtomicLong delivered = new AtomicLong(), sent = new AtomicLong(), lists = new AtomicLong(), failed = new AtomicLong();
+    private final AtomicLong delivered = new AtomicLong(),
+            sent = new AtomicLong(),
+            lists = new AtomicLong(),
+            failed = new AtomicLong();
     private final int members;
-    private final List<Server> more = new ArrayList<>();   // the further endpoints of the first destination
-    private final AtomicLongArray calls;                    // at each endpoint of it
+    private final List<Server> more = new ArrayList<>(); // the further endpoints of the first destination
+    private final AtomicLongArray calls; // at each endpoint of it
     private volatile boolean failing;
-    private volatile int destinations = 1;   // and the list's version, less one
+    private volatile int destinations = 1; // and the list's version, less one
 
     /** {@code members}: as the dispatchers are told; {@code endpoints}: of the first destination's partner. */
     Outside(int members, int endpoints) throws IOException {
@@ -46,11 +49,25 @@
         this.members = members;
         this.calls = new AtomicLongArray(endpoints);
         io = new Io(new Clock());
-        server = new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 256, 1 << 20, null, this::answer);
+        server = new Server(
+                io,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                1 << 20,
+                256,
+                1 << 20,
+                null,
+                this::answer);
         client = new Connections(io, PATIENCE_NS, 64, 1 << 10);
         for (int i = 1; i < endpoints; i++) {
             int number = i;
-            more.add(new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 256, 1 << 20, null, (r, to) -> partner(number, to)));
+            more.add(new Server(
+                    io,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    1 << 20,
+                    256,
+                    1 << 20,
+                    null,
+                    (r, to) -> partner(number, to)));
         }
     }
 
@@ -60,20 +77,30 @@
 
     /** What the RELAY_CONFIG of the dispatcher with that number holds. */
     String config(int number) {
-        return "{\"seed\":\"" + number + "\",\"discovery\":\"" + address() + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3},"
-                + "\"known\":" + list() + ",\"settings\":" + SETTINGS.replace("MEMBERS", Integer.toString(members)) + "}";
+        return "{\"seed\":\"" + number + "\",\"discovery\":\"" + address()
+                + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3}," + "\"known\":" + list()
+                + ",\"settings\":" + SETTINGS.replace("MEMBERS", Integer.toString(members)) + "}";
     }
 
     private String list() {
         int now = destinations;
-        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":[" + IntStream.rangeClosed(1, now).mapToObj(d -> host("s" + d, address(), d))
-                .collect(Collectors.joining(",")) + IntStream.range(0, more.size())
-                .mapToObj(i -> "," + host("s1-" + i, "127.0.0.1:" + more.get(i).address().getPort(), 1)).collect(Collectors.joining()) + "]}";
+        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":["
+                + IntStream.rangeClosed(1, now)
+                        .mapToObj(d -> host("s" + d, address(), d))
+                        .collect(Collectors.joining(","))
+                + IntStream.range(0, more.size())
+                        .mapToObj(i -> ","
+                                + host(
+                                        "s1-" + i,
+                                        "127.0.0.1:" + more.get(i).address().getPort(),
+                                        1))
+                        .collect(Collectors.joining())
+                + "]}";
     }
 
     private static String host(String id, String at, int destination) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":" + destination
-                + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":"
+                + destination + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
     }
 
     /** Discovery lists one destination more from now on; its number. */
@@ -134,8 +161,26 @@
         long n = sent.incrementAndGet();
         io.run(() -> {
             long by = io.clock.now() + PATIENCE_NS;
-            client.send(new UpstreamHost("member", member), new Call("POST", "/say", Map.of("X-Txn", "rig" + n, "X-Org", "org", "X-Remaining", "3500m",
-                    "X-Addressing", "dest=" + destination, "Idempotency-Key", "k" + n), new byte[8]), by, by, reply -> code.complete(reply.code()));
+            client.send(
+                    new UpstreamHost("member", member),
+                    new Call(
+                            "POST",
+                            "/say",
+                            Map.of(
+                                    "X-Txn",
+                                    "rig" + n,
+                                    "X-Org",
+                                    "org",
+                                    "X-Remaining",
+                                    "3500m",
+                                    "X-Addressing",
+                                    "dest=" + destination,
+                                    "Idempotency-Key",
+                                    "k" + n),
+                            new byte[8]),
+                    by,
+                    by,
+                    reply -> code.complete(reply.code()));
         });
         return code;
     }
--- a/src/main/java/elderseam/fleet/rig/Plan.java
+++ b/src/main/java/elderseam/fleet/rig/Plan.java
@@ -18,7 +18,14 @@
  *
  * @param clocks percent of true time that a member's clock shows, where it is not 100
  */
-record Plan(int members, long ttlMs, int driftPercent, long electionMs, long roundMs, Map<String, Integer> clocks, List<Fault> faults) {
+record Plan(
+        int members,
+        long ttlMs,
+        int driftPercent,
+        long electionMs,
+        long roundMs,
+        Map<String, Integer> clocks,
+        List<Fault> faults) {
     static final int MOST = 16;
 
     /** Leases under a nemesis, with one clock 5% fast. */
@@ -49,21 +56,29 @@
     /** A file of {@code [fleet NAME]} and {@code [fault NAME]}; every fault of it is told at once. */
     static Plan read(Path file) throws IOException {
         List<String> wrong = new ArrayList<>();
-        List<Sections.Section> all = Sections.read(file.toString(), Files.readAllLines(file), List.of("fleet", "fault"), wrong);
+        List<Sections.Section> all =
+                Sections.read(file.toString(), Files.readAllLines(file), List.of("fleet", "fault"), wrong);
         Plan plan = leases();
         List<Fault> faults = new ArrayList<>();
         for (Sections.Section s : all) {
             Sections.Section known = s;
-            List<String> keys = s.kind().equals("fleet") ? List.of("members", "ttl_ms", "drift_percent", "election_ms", "round_ms", "clocks") : List.of("at_ms", "do");
+            List<String> keys = s.kind().equals("fleet")
+                    ? List.of("members", "ttl_ms", "drift_percent", "election_ms", "round_ms", "clocks")
+                    : List.of("at_ms", "do");
             s.values().forEach((key, values) -> {
                 if (!keys.contains(key)) {
                     wrong.add(known.place(values.get(0), key) + "unknown key, allowed: " + String.join(", ", keys));
                 }
             });
             if (s.kind().equals("fleet")) {
-                plan = new Plan((int) number(s, "members", 2, MOST, plan.members, wrong), number(s, "ttl_ms", 200, 60_000, plan.ttlMs, wrong),
-                        (int) number(s, "drift_percent", 0, 40, plan.driftPercent, wrong), number(s, "election_ms", 50, 10_000, plan.electionMs, wrong),
-                        number(s, "round_ms", 100, 60_000, plan.roundMs, wrong), clocks(s, wrong), List.of());
+                plan = new Plan(
+                        (int) number(s, "members", 2, MOST, plan.members, wrong),
+                        number(s, "ttl_ms", 200, 60_000, plan.ttlMs, wrong),
+                        (int) number(s, "drift_percent", 0, 40, plan.driftPercent, wrong),
+                        number(s, "election_ms", 50, 10_000, plan.electionMs, wrong),
+                        number(s, "round_ms", 100, 60_000, plan.roundMs, wrong),
+                        clocks(s, wrong),
+                        List.of());
             } else if (s.kind().equals("fault")) {
                 try {
                     faults.add(Fault.parse(number(s, "at_ms", 0, 60_000, 0, wrong), s.text("do", "")));
@@ -109,12 +124,17 @@
 
     private static Map<String, Integer> clocks(Sections.Section s, List<String> wrong) {
         Map<String, Integer> clocks = new LinkedHashMap<>();
-        for (String word : Arrays.stream(s.text("clocks", "").split("\\s+")).filter(w -> !w.isEmpty()).toList()) {
-            if (!word.matches("n\\d{1,3}=\\d{2,3}") || Integer.parseInt(word.substring(word.indexOf('=') + 1)) < 50
+        for (String word : Arrays.stream(s.text("clocks", "").split("\\s+"))
+                .filter(w -> !w.isEmpty())
+                .toList()) {
+            if (!word.matches("n\\d{1,3}=\\d{2,3}")
+                    || Integer.parseInt(word.substring(word.indexOf('=') + 1)) < 50
                     || Integer.parseInt(word.substring(word.indexOf('=') + 1)) > 150) {
-                wrong.add(s.place(s.value("clocks"), "clocks") + "'" + word + "' can't be used, allowed: nK=PERCENT, 50 to 150");
+                wrong.add(s.place(s.value("clocks"), "clocks") + "'" + word
+                        + "' can't be used, allowed: nK=PERCENT, 50 to 150");
             } else {
-                clocks.put(word.substring(0, word.indexOf('=')), Integer.parseInt(word.substring(word.indexOf('=') + 1)));
+                clocks.put(
+                        word.substring(0, word.indexOf('=')), Integer.parseInt(word.substring(word.indexOf('=') + 1)));
             }
         }
         return clocks;
--- a/src/main/java/elderseam/fleet/rig/Proposals.java
+++ b/src/main/java/elderseam/fleet/rig/Proposals.java
@@ -17,7 +17,11 @@
     }
 
     private static String value(String answer, String name) {
-        return answer.lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
+        return answer.lines()
+                .filter(l -> l.startsWith(name + "="))
+                .map(l -> l.substring(name.length() + 1))
+                .findFirst()
+                .orElse("");
     }
 
     /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
@@ -26,8 +30,11 @@
             return "";
         }
         String latest = value(c, name, "latest").split(" ")[0];
-        String answer = latest.isEmpty() ? "" : c.member(name).told("CONFIG PROPOSE " + latest + " "
-                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
+        String answer = latest.isEmpty()
+                ? ""
+                : c.member(name)
+                        .told("CONFIG PROPOSE " + latest + " "
+                                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
         c.history().add("propose", "at", name, "answer", answer.strip());
         return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
     }
@@ -39,9 +46,11 @@
             boolean sure = true;
             for (String g : c.group()) {
                 if (c.member(g).alive()) {
-                    String s = c.member(g).told("CONFIG");   // one answer: its lines are of one moment
+                    String s = c.member(g).told("CONFIG"); // one answer: its lines are of one moment
                     acting.add(value(s, "acting"));
-                    sure &= value(s, "acting").equals(value(s, "latest")) && value(s, "doubt").equals("no") && value(s, "pending").equals("none");
+                    sure &= value(s, "acting").equals(value(s, "latest"))
+                            && value(s, "doubt").equals("no")
+                            && value(s, "pending").equals("none");
                 }
             }
             if (sure && acting.size() == 1) {
@@ -50,7 +59,7 @@
             if (System.nanoTime() > byNs) {
                 throw new IOException("the members do not agree on a version: " + acting);
             }
-            Cluster.pause(20);   // members are asked; they tell nothing unasked
+            Cluster.pause(20); // members are asked; they tell nothing unasked
         }
     }
 }
--- a/src/main/java/elderseam/fleet/rig/SocketOwner.java
+++ b/src/main/java/elderseam/fleet/rig/SocketOwner.java
@@ -27,13 +27,15 @@
     }
 
     private static String inode(int localPort, int remotePort) throws IOException {
-        String local = String.format(Locale.ROOT, ":%04X", localPort), remote = String.format(Locale.ROOT, ":%04X", remotePort);
+        String local = String.format(Locale.ROOT, ":%04X", localPort),
+                remote = String.format(Locale.ROOT, ":%04X", remotePort);
         for (String table : List.of("/proc/net/tcp6", "/proc/net/tcp")) {
             if (!Files.exists(Path.of(table))) {
                 continue;
             }
             for (String line : Files.readAllLines(Path.of(table))) {
-                String[] word = line.strip().split("\\s+");   // sl local remote state queues timer retransmits uid timeout inode
+                String[] word =
+                        line.strip().split("\\s+"); // sl local remote state queues timer retransmits uid timeout inode
                 if (word.length > 9 && word[1].endsWith(local) && word[2].endsWith(remote)) {
                     return word[9];
                 }
--- a/src/main/java/elderseam/fleet/rig/Store.java
+++ b/src/main/java/elderseam/fleet/rig/Store.java
@@ -62,10 +62,14 @@
     }
 
     private void serve(Socket socket) {
-        try (socket; BufferedReader lines = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
+        try (socket;
+                BufferedReader lines =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line; (line = lines.readLine()) != null; ) {
                 boolean admitted = act(json.readTree(line));
-                socket.getOutputStream().write((json.writeValueAsString(Map.of("admitted", admitted)) + "\n").getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream()
+                        .write((json.writeValueAsString(Map.of("admitted", admitted)) + "\n")
+                                .getBytes(StandardCharsets.UTF_8));
             }
         } catch (IOException e) {
             // the caller has gone; what it told has taken effect or not, as the history says
@@ -73,9 +77,24 @@
     }
 
     private synchronized boolean act(JsonNode told) {
-        Effect e = new Effect(told.get("lease").asText(), told.get("holder").asText(), told.get("token").asLong(), true);
+        Effect e = new Effect(
+                told.get("lease").asText(),
+                told.get("holder").asText(),
+                told.get("token").asLong(),
+                true);
         boolean admitted = fence.admit(e.lease(), e.token()) || !fenced;
-        history.add("effect", "lease", e.lease(), "holder", e.holder(), "token", e.token(), "n", told.get("n").asLong(), "admitted", admitted);
+        history.add(
+                "effect",
+                "lease",
+                e.lease(),
+                "holder",
+                e.holder(),
+                "token",
+                e.token(),
+                "n",
+                told.get("n").asLong(),
+                "admitted",
+                admitted);
         watch.accept(new Effect(e.lease(), e.holder(), e.token(), admitted));
         return admitted;
     }
--- a/src/main/java/elderseam/fleet/rig/VersionRun.java
+++ b/src/main/java/elderseam/fleet/rig/VersionRun.java
@@ -21,15 +21,23 @@
     /** While one member leads all switch this close to each other: an answer's way over links that a nemesis delays by up to 64 ms each
      *  way, the drift since, and a timer. */
     static final long STEP_MS = 300;
+
     private static final int QUIET_EVERY = 4;
-    private static final long QUIET_MS = 3_000, LONG_MS = 8_000;   // the longer one outlasts an election before the commit
+    private static final long QUIET_MS = 3_000,
+            LONG_MS = 8_000; // the longer one outlasts an election before the commit
     static final List<String> PLANTS = List.of("no-confirm", "at-commit");
 
     private VersionRun() {}
 
     /** {@code plant}: one of {@link #PLANTS}, or null. */
     static Cluster.Setup setup(String plant) {
-        return new Cluster.Setup(true, name -> "versions_bound_ms = " + BOUND_MS + "\n[rehearsal]\nversions = " + (plant == null ? "right" : plant) + "\n", false, true, "");
+        return new Cluster.Setup(
+                true,
+                name -> "versions_bound_ms = " + BOUND_MS + "\n[rehearsal]\nversions = "
+                        + (plant == null ? "right" : plant) + "\n",
+                false,
+                true,
+                "");
     }
 
     static FleetRun.Result run(Plan plan, FleetRun.Terms t, Consumer<String> tell) throws IOException {
@@ -37,13 +45,16 @@
         Histogram effect = new Histogram(120_000L, 3);
         int refused = 0;
         try (Cluster c = new Cluster(plan, t.folder(), setup(t.plant()))) {
-            Proposals.agreed(c, System.nanoTime() + LIVENESS_MS * 1_000_000);   // the group has a leader, and all have confirmed
+            Proposals.agreed(
+                    c, System.nanoTime() + LIVENESS_MS * 1_000_000); // the group has a leader, and all have confirmed
             for (int n = 0; n < t.rounds(); n++) {
                 List<Fault> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
                 String led = c.leader();
                 c.history().add("round");
-                Plan lasts = faults.isEmpty() ? plan.lasting(QUIET_MS) : "no-confirm".equals(t.plant()) ? plan.lasting(LONG_MS) : plan;
+                Plan lasts = faults.isEmpty()
+                        ? plan.lasting(QUIET_MS)
+                        : "no-confirm".equals(t.plant()) ? plan.lasting(LONG_MS) : plan;
                 refused += round(c, lasts, n, faults) ? 0 : 1;
                 if (c.leader().equals(led)) {
                     c.history().add("steady");
@@ -74,7 +85,7 @@
 
     /** Every fourth round is quiet; a planted fault gets the rounds that show it. */
     static List<Fault> faults(Plan plan, FleetRun.Terms t, int n) {
-        if ("at-commit".equals(t.plant())) {   // one is late with its check, another is cut off once it has made its own
+        if ("at-commit".equals(t.plant())) { // one is late with its check, another is cut off once it has made its own
             return List.of(Fault.parse(0, "stall n5 900"), Fault.parse(850, "isolate n4"));
         } else if (t.plant() == null && n % QUIET_EVERY == QUIET_EVERY - 1) {
             return List.of();
@@ -97,7 +108,10 @@
     /** A version of rules that differ from round to round. */
     static Path write(Cluster c, int n) throws IOException {
         Path folder = Files.createDirectories(c.folder().resolve("proposals").resolve(Integer.toString(n)));
-        Files.writeString(folder.resolve("round.rules"), "[limit round]\nrate_per_s = " + (100 + n) + "\nburst = 1000\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = round\n");
+        Files.writeString(
+                folder.resolve("round.rules"),
+                "[limit round]\nrate_per_s = " + (100 + n)
+                        + "\nburst = 1000\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = round\n");
         return Files.writeString(folder.resolve("version.ini"), "[rules]\nfiles = round.rules\n");
     }
 }
--- a/src/main/java/elderseam/fleet/share/FleetSize.java
+++ b/src/main/java/elderseam/fleet/share/FleetSize.java
@@ -16,7 +16,8 @@
 
     private final int told;
     private final long holdNs;
-    private final ArrayDeque<Seen> greatest = new ArrayDeque<>();   // falling numbers: each was the greatest since it was seen
+    private final ArrayDeque<Seen> greatest =
+            new ArrayDeque<>(); // falling numbers: each was the greatest since it was seen
 
     /** {@code told}: by the platform or the operator; it counts until something is seen, and is 1 where nobody says. */
     public FleetSize(int told, long holdNs) {
@@ -29,7 +30,8 @@
         while (!greatest.isEmpty() && greatest.getLast().present < present) {
             greatest.removeLast();
         }
-        if (greatest.isEmpty() || greatest.getLast().present > present) {   // the same again is there since it was first seen
+        if (greatest.isEmpty()
+                || greatest.getLast().present > present) { // the same again is there since it was first seen
             greatest.addLast(new Seen(now, present));
         }
     }
@@ -39,7 +41,8 @@
         if (greatest.isEmpty()) {
             return told;
         }
-        while (greatest.size() > 1) {   // a number was there until the next, lower one was seen: it counts for the hold after that
+        while (greatest.size()
+                > 1) { // a number was there until the next, lower one was seen: it counts for the hold after that
             Seen next = greatest.stream().skip(1).findFirst().orElseThrow();
             if (now - next.at < holdNs) {
                 break;
--- a/src/main/java/elderseam/fleet/share/Subsets.java
+++ b/src/main/java/elderseam/fleet/share/Subsets.java
@@ -23,7 +23,9 @@
  */
 public final class Subsets {
     public enum Way {
-        SRE("sre"), RENDEZVOUS("rendezvous"), BOUNDED("bounded");
+        SRE("sre"),
+        RENDEZVOUS("rendezvous"),
+        BOUNDED("bounded");
 
         private final String wireName;
 
@@ -41,7 +43,7 @@
     static final double SLACK = 1.05;
 
     private static final Hasher64 HASH = Hashing.wyhashFinal4();
-    private static final long ORDER = 1;   // the members' own order, beside the scores of pairs
+    private static final long ORDER = 1; // the members' own order, beside the scores of pairs
 
     private Subsets() {}
 
@@ -53,7 +55,7 @@
     private static int[] ranked(long name, long[] hosts) {
         long[] scores = new long[hosts.length];
         int[] order = new int[hosts.length];
-        for (int i = 0; i < hosts.length; i++) {   // by insertion: a destination has few
+        for (int i = 0; i < hosts.length; i++) { // by insertion: a destination has few
             long score = HASH.hashLongLongToLong(name, hosts[i]);
             int at = i;
             for (; at > 0 && scores[at - 1] > score; at--) {
@@ -74,25 +76,31 @@
         if (connections <= 0) {
             return endpoints;
         }
-        return (int) Math.max(1, Math.min(endpoints, (long) connections * endpoints / Math.max(1, (long) members * each)));
+        return (int) Math.max(
+                1, Math.min(endpoints, (long) connections * endpoints / Math.max(1, (long) members * each)));
     }
 
     /**
      * The endpoints that one member prefers of all that are listed, by destination; {@code connections} and {@code each} as {@link
      * #size} has them.
      */
-    public static Set<String> preferred(String self, List<String> members, Map<Long, List<String>> listed, int connections, int each) {
+    public static Set<String> preferred(
+            String self, List<String> members, Map<Long, List<String>> listed, int connections, int each) {
         Set<String> own = new HashSet<>();
         listed.values().forEach(endpoints -> {
             int k = size(members.size(), endpoints.size(), connections, each);
-            own.addAll(k >= endpoints.size() ? endpoints : all(Way.BOUNDED, members, endpoints, k).getOrDefault(self, endpoints));
+            own.addAll(
+                    k >= endpoints.size()
+                            ? endpoints
+                            : all(Way.BOUNDED, members, endpoints, k).getOrDefault(self, endpoints));
         });
         return own;
     }
 
     /** Each member's endpoints; {@code size} at most, and never fewer than one where there is one. */
     public static Map<String, List<String>> all(Way way, List<String> members, List<String> endpoints, int size) {
-        List<String> names = members.stream().sorted().distinct().toList(), hosts = endpoints.stream().sorted().distinct().toList();
+        List<String> names = members.stream().sorted().distinct().toList(),
+                hosts = endpoints.stream().sorted().distinct().toList();
         int k = Math.min(size, hosts.size());
         return switch (way) {
             case SRE -> sre(names, hosts, k);
@@ -134,7 +142,8 @@
         long[] scores = hashes(hosts), members = hashes(names);
         int[] load = new int[hosts.size()];
         double even = hosts.isEmpty() ? 0 : (double) names.size() * k / hosts.size();
-        int most = (int) Math.max(Math.ceil(even), Math.floor(even * SLACK));   // a few members must not round up to one more each
+        int most = (int)
+                Math.max(Math.ceil(even), Math.floor(even * SLACK)); // a few members must not round up to one more each
         for (int m : ranked(ORDER, members, names.size())) {
             int[] ranked = ranked(members[m], scores);
             boolean[] taken = new boolean[hosts.size()];
@@ -144,7 +153,8 @@
                     take(ranked[i], load, taken, own, hosts);
                 }
             }
-            while (own.size() < k) {   // the last members may find too few below their part: then the least taken of the others
+            while (own.size()
+                    < k) { // the last members may find too few below their part: then the least taken of the others
                 int least = -1;
                 for (int h : ranked) {
                     least = !taken[h] && (least < 0 || load[h] < load[least]) ? h : least;
@@ -164,8 +174,12 @@
 
     /** The places of all members in the order of their own scores: by sorting, they may be many. */
     private static int[] ranked(long by, long[] members, int n) {
-        return java.util.stream.IntStream.range(0, n).boxed().sorted(Comparator.comparingLong((Integer i) -> HASH.hashLongLongToLong(by, members[i]))
-                .thenComparing(i -> i)).mapToInt(i -> i).toArray();
+        return java.util.stream.IntStream.range(0, n)
+                .boxed()
+                .sorted(Comparator.comparingLong((Integer i) -> HASH.hashLongLongToLong(by, members[i]))
+                        .thenComparing(i -> i))
+                .mapToInt(i -> i)
+                .toArray();
     }
 
     /** The most members at an endpoint over the mean, 1 where it is even. */
@@ -189,7 +203,8 @@
             List<String> had = before.get(e.getKey());
             if (had != null) {
                 of += e.getValue().size();
-                fresh += (int) e.getValue().stream().filter(h -> !had.contains(h)).count();
+                fresh += (int)
+                        e.getValue().stream().filter(h -> !had.contains(h)).count();
             }
         }
         return of == 0 ? 0 : (double) fresh / of;
--- a/src/main/java/elderseam/fleet/share/TurnDuty.java
+++ b/src/main/java/elderseam/fleet/share/TurnDuty.java
@@ -15,7 +15,11 @@
  */
 public final class TurnDuty {
     /** How a breaker stands, a member's own or as it says. */
-    public enum Standing { CLOSED, HALF_OPEN, OPEN }
+    public enum Standing {
+        CLOSED,
+        HALF_OPEN,
+        OPEN
+    }
 
     /** What another member says, as far as it counts yet. */
     public record Other(String member, Standing standing) {}
@@ -45,7 +49,7 @@
         Set<String> takes = new HashSet<>();
         for (Other o : others) {
             if (o.standing == Standing.CLOSED) {
-                back |= took.contains(o.member);   // it was down for that one in this outage, and is no more
+                back |= took.contains(o.member); // it was down for that one in this outage, and is no more
                 continue;
             }
             takes.add(o.member);
--- a/src/main/java/elderseam/fleet/share/Turns.java
+++ b/src/main/java/elderseam/fleet/share/Turns.java
@@ -15,7 +15,11 @@
 
     /** Who does it, or null where nobody takes part. */
     public static String owner(String task, Collection<String> taking) {
-        return taking.stream().min(Comparator.comparingLong((String m) -> Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + m)).thenComparing(m -> m)).orElse(null);
+        return taking.stream()
+                .min(Comparator.comparingLong(
+                                (String m) -> Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + m))
+                        .thenComparing(m -> m))
+                .orElse(null);
     }
 
     /** Where in the order a member stands, from 0. */
--- a/src/main/java/elderseam/gossip/Advice.java
+++ b/src/main/java/elderseam/gossip/Advice.java
@@ -19,13 +19,14 @@
     static final double REGAIN_NS = 600e9;
     /** Own calls of the last 10 s of which this share was delivered contradict a claim that the destination is down. */
     static final double WELL = 0.8;
+
     static final int ENOUGH_CALLS = 5;
     private static final double FULL = 4;
 
     private static final class Worth {
         double value = START;
         long at;
-        final Map<Long, Long> contradicted = new HashMap<>();   // destination: number of the claim that cost
+        final Map<Long, Long> contradicted = new HashMap<>(); // destination: number of the claim that cost
     }
 
     private final Map<String, Worth> worth = new HashMap<>();
--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/Agent.java
@@ -31,13 +31,15 @@
     public record Own(long destination, Claim.State state, int waitMs, int calls, int failures) {}
 
     private static final int MOST_DESTINATIONS = 256, STATE_CLAIMS = 256;
-    private static final int MESSAGE = 1 + 8 + 1 + 64 + 2 + 2;   // bytes of a message with the longest name, and two counts
+    private static final int MESSAGE =
+            1 + 8 + 1 + 64 + 2 + 2; // bytes of a message with the longest name, and two counts
     private static final int WINDOW_MS = 10_000;
     /**
      * Incarnations begin as a wall clock in milliseconds. What others say of a member may be so far ahead, and twice as far what
      * it says itself: so one that lies can't push a member's incarnation to where nobody would believe its refutation.
      */
     private static final long DAY_MS = 86_400_000;
+
     private static final long MS = 1_000_000, AGAIN_NS = 3_000 * MS, STALE_MS = 12_000;
     private static final double CHECKS_PER_S = 40, ISSUES_PER_S = 20;
 
@@ -53,7 +55,7 @@
     private final Advice advice = new Advice();
     private final Ceiling ceiling;
     private final Spread<Signed> spread = new Spread<>(1_024, Signed::bytes);
-    private final Map<String, Signed> sealed = new HashMap<>();    // as held in claims, by reporter and destination
+    private final Map<String, Signed> sealed = new HashMap<>(); // as held in claims, by reporter and destination
     private final Map<Long, Issued> issued = new HashMap<>();
     private final Map<String, Bucket> checks = new HashMap<>();
     private final Clocks clocks = new Clocks();
@@ -64,8 +66,12 @@
 
     /** Why something was passed over. */
     public enum Drop {
-        STALE_CLAIM("stale claim"), FORGED_CLAIM("forged claim"), CLAIMS_OVER_RATE("claims over rate"), STRANGER("stranger"),
-        AHEAD("ahead"), CEILING("ceiling");
+        STALE_CLAIM("stale claim"),
+        FORGED_CLAIM("forged claim"),
+        CLAIMS_OVER_RATE("claims over rate"),
+        STRANGER("stranger"),
+        AHEAD("ahead"),
+        CEILING("ceiling");
 
         private final String wireName;
 
@@ -79,8 +85,17 @@
         }
     }
 
-    public Agent(String self, String address, List<String> seeds, long incarnation, Tempo tempo, Ceiling ceiling, Trust trust,
-                 long now, SplittableRandom random, BiConsumer<String, Standing> changed) {
+    public Agent(
+            String self,
+            String address,
+            List<String> seeds,
+            long incarnation,
+            Tempo tempo,
+            Ceiling ceiling,
+            Trust trust,
+            long now,
+            SplittableRandom random,
+            BiConsumer<String, Standing> changed) {
         this.self = self;
         this.envelope = Packet.envelope(self);
         this.incarnation = incarnation;
@@ -135,7 +150,8 @@
         }
         if (clocks.ageMs(c.reporter(), s.wallMs(), wallMs) > STALE_MS) {
             dropped[Drop.STALE_CLAIM.ordinal()]++;
-        } else if (!checks.computeIfAbsent(from, f -> new Bucket(CHECKS_PER_S, CHECKS_PER_S, now)).take(1, now)) {
+        } else if (!checks.computeIfAbsent(from, f -> new Bucket(CHECKS_PER_S, CHECKS_PER_S, now))
+                .take(1, now)) {
             dropped[Drop.CLAIMS_OVER_RATE.ordinal()]++;
         } else if (!trust.genuine(c.reporter(), s.key(), Codec.sealed(c, s.wallMs(), s.key()), s.seal())) {
             dropped[Drop.FORGED_CLAIM.ordinal()]++;
@@ -148,7 +164,9 @@
         Claim c = s.claim();
         String subject = c.reporter() + " " + c.destination();
         sealed.put(subject, s);
-        int confirmed = (int) claims.of(c.destination(), now).stream().filter(x -> x.state() == c.state()).count();
+        int confirmed = (int) claims.of(c.destination(), now).stream()
+                .filter(x -> x.state() == c.state())
+                .count();
         spread.say(subject, s, confirmed);
     }
 
@@ -167,9 +185,13 @@
         Set<Long> about = new HashSet<>();
         for (long destination : claims.destinations(self, now)) {
             Own o = mine.get(destination);
-            List<Claim> others = claims.of(destination, now).stream().filter(c -> !c.reporter().equals(self)).toList();
+            List<Claim> others = claims.of(destination, now).stream()
+                    .filter(c -> !c.reporter().equals(self))
+                    .toList();
             int calls = o == null ? 0 : o.calls();
-            Word w = new Word(advice.doubt(others, calls, calls - (o == null ? 0 : o.failures()), now), advice.trying(others, now));
+            Word w = new Word(
+                    advice.doubt(others, calls, calls - (o == null ? 0 : o.failures()), now),
+                    advice.trying(others, now));
             about.add(destination);
             advise.accept(destination, w);
         }
@@ -183,15 +205,27 @@
         for (boolean changes : new boolean[] {true, false}) {
             for (Own o : mine.values()) {
                 Issued last = issued.get(o.destination());
-                boolean silent = last == null && (o.state() == Claim.State.CLOSED || issued.size() >= MOST_DESTINATIONS);
+                boolean silent =
+                        last == null && (o.state() == Claim.State.CLOSED || issued.size() >= MOST_DESTINATIONS);
                 boolean changed = last == null || last.state != o.state();
-                if (silent || changes != changed || !changed && (o.state() == Claim.State.CLOSED || now - last.at < AGAIN_NS)) {
+                if (silent
+                        || changes != changed
+                        || !changed && (o.state() == Claim.State.CLOSED || now - last.at < AGAIN_NS)) {
                     continue;
                 }
                 if (!issues.take(1, now)) {
                     return;
                 }
-                Claim c = new Claim(self, incarnation, ++numbers, o.destination(), o.state(), o.waitMs(), o.calls(), o.failures(), WINDOW_MS);
+                Claim c = new Claim(
+                        self,
+                        incarnation,
+                        ++numbers,
+                        o.destination(),
+                        o.state(),
+                        o.waitMs(),
+                        o.calls(),
+                        o.failures(),
+                        WINDOW_MS);
                 claims.hear(c, now);
                 say(new Signed(c, wallMs, trust.key(), trust.seal(Codec.sealed(c, wallMs, trust.key()))), now);
                 issued.put(o.destination(), new Issued(o.state(), now));
@@ -236,11 +270,18 @@
     /** The whole state, as a packet: every member, and the claims that count, newest first, as many as fit. */
     public Packet state(boolean answer, long now) {
         int[] room = {Packet.STATE - envelope - MESSAGE};
-        List<Rumour> members = membership.state().stream().filter(r -> (room[0] -= r.bytes()) >= 0).toList();
-        List<Signed> newest = sealed.values().stream().filter(s -> claims.counts(s.claim(), now)).sorted((a, b) -> {
-            int byTime = Long.compare(b.wallMs(), a.wallMs());
-            return byTime != 0 ? byTime : Claim.AGE.compare(b.claim(), a.claim());
-        }).limit(STATE_CLAIMS).filter(s -> (room[0] -= s.bytes()) >= 0).toList();
+        List<Rumour> members = membership.state().stream()
+                .filter(r -> (room[0] -= r.bytes()) >= 0)
+                .toList();
+        List<Signed> newest = sealed.values().stream()
+                .filter(s -> claims.counts(s.claim(), now))
+                .sorted((a, b) -> {
+                    int byTime = Long.compare(b.wallMs(), a.wallMs());
+                    return byTime != 0 ? byTime : Claim.AGE.compare(b.claim(), a.claim());
+                })
+                .limit(STATE_CLAIMS)
+                .filter(s -> (room[0] -= s.bytes()) >= 0)
+                .toList();
         return new Packet(new Message.State(answer), members, newest);
     }
 
--- a/src/main/java/elderseam/gossip/Claim.java
+++ b/src/main/java/elderseam/gossip/Claim.java
@@ -9,20 +9,37 @@
  * @param waitMs how much of a told wait remained when it was issued, 0 for none
  * @param calls calls of the window, of which so many failed
  */
-public record Claim(String reporter, long incarnation, long number, long destination, State state, int waitMs, int calls,
-                    int failures, int windowMs) {
+public record Claim(
+        String reporter,
+        long incarnation,
+        long number,
+        long destination,
+        State state,
+        int waitMs,
+        int calls,
+        int failures,
+        int windowMs) {
     /** The reporter's breaker, as it says. */
-    public enum State { CLOSED, HALF_OPEN, OPEN }
+    public enum State {
+        CLOSED,
+        HALF_OPEN,
+        OPEN
+    }
 
     /** Newest last. Two of one number that differ are a fault of their reporter; which counts must not depend on the order in
      *  which they came. */
-    static final Comparator<Claim> AGE = Comparator.comparingLong(Claim::incarnation).thenComparingLong(Claim::number)
-            .thenComparing(Claim::state).thenComparingInt(Claim::waitMs).thenComparingInt(Claim::calls)
-            .thenComparingInt(Claim::failures).thenComparingInt(Claim::windowMs);
+    static final Comparator<Claim> AGE = Comparator.comparingLong(Claim::incarnation)
+            .thenComparingLong(Claim::number)
+            .thenComparing(Claim::state)
+            .thenComparingInt(Claim::waitMs)
+            .thenComparingInt(Claim::calls)
+            .thenComparingInt(Claim::failures)
+            .thenComparingInt(Claim::windowMs);
 
     public Claim {
         if (reporter.isEmpty() || waitMs < 0 || calls < 0 || failures < 0 || failures > calls || windowMs < 0) {
-            throw new IllegalArgumentException("no claim: " + reporter + " " + waitMs + " " + failures + " of " + calls);
+            throw new IllegalArgumentException(
+                    "no claim: " + reporter + " " + waitMs + " " + failures + " of " + calls);
         }
     }
 }
--- a/src/main/java/elderseam/gossip/Codec.java
+++ b/src/main/java/elderseam/gossip/Codec.java
@@ -12,7 +12,7 @@
  * from whoever could reach the port. Names are 1 to 64 of {@code A-Za-z0-9._-}, addresses up to 64 printable characters.
  */
 public final class Codec {
-    private static final int LONGEST = 64, MOST = 4_096;   // characters of a name; rumours, and claims, of one packet
+    private static final int LONGEST = 64, MOST = 4_096; // characters of a name; rumours, and claims, of one packet
 
     private Codec() {}
 
@@ -62,8 +62,14 @@
 
     private static void sealed(ByteBuffer b, Claim c, long wallMs, int key) {
         text(b, c.reporter());
-        b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte) c.state().ordinal());
-        b.putInt(c.waitMs()).putInt(c.calls()).putInt(c.failures()).putInt(c.windowMs()).putLong(wallMs).putInt(key);
+        b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte)
+                c.state().ordinal());
+        b.putInt(c.waitMs())
+                .putInt(c.calls())
+                .putInt(c.failures())
+                .putInt(c.windowMs())
+                .putLong(wallMs)
+                .putInt(key);
     }
 
     /** A packet, or null: nothing may be left over. */
@@ -80,8 +86,13 @@
                 int standing = b.get();
                 long incarnation = b.getLong();
                 String from = name(b);
-                if (member == null || address == null || from == null || standing < 0 || standing > 3 || incarnation < 0
-                        || incarnation > Long.MAX_VALUE / 2) {   // outbidding it must not run over
+                if (member == null
+                        || address == null
+                        || from == null
+                        || standing < 0
+                        || standing > 3
+                        || incarnation < 0
+                        || incarnation > Long.MAX_VALUE / 2) { // outbidding it must not run over
                     return null;
                 }
                 heard.add(new Rumour(member, address, Standing.values()[standing], incarnation, from));
@@ -110,7 +121,9 @@
             case 1, 2 -> {
                 long number = b.getLong();
                 String target = name(b);
-                return target == null ? null : kind == 1 ? new Message.Ping(number, target) : new Message.PingFor(number, target);
+                return target == null
+                        ? null
+                        : kind == 1 ? new Message.Ping(number, target) : new Message.PingFor(number, target);
             }
             case 3 -> {
                 return new Message.Ack(b.getLong());
@@ -138,11 +151,30 @@
         int key = b.getInt();
         byte[] seal = new byte[Signed.SEAL];
         b.get(seal);
-        if (reporter == null || state < 0 || state > 2 || wait < 0 || calls < 0 || failures < 0 || failures > calls || window < 0) {
+        if (reporter == null
+                || state < 0
+                || state > 2
+                || wait < 0
+                || calls < 0
+                || failures < 0
+                || failures > calls
+                || window < 0) {
             return null;
         }
-        return new Signed(new Claim(reporter, incarnation, number, destination, Claim.State.values()[state], wait, calls, failures,
-                window), wall, key, seal);
+        return new Signed(
+                new Claim(
+                        reporter,
+                        incarnation,
+                        number,
+                        destination,
+                        Claim.State.values()[state],
+                        wait,
+                        calls,
+                        failures,
+                        window),
+                wall,
+                key,
+                seal);
     }
 
     /** A text of up to 64 characters and its length before it. */
@@ -161,8 +193,15 @@
 
     /** Whether that may be a member's name. */
     public static boolean isName(String text) {
-        return !text.isEmpty() && text.length() <= LONGEST && text.chars().allMatch(c -> c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-                || c >= '0' && c <= '9' || c == '.' || c == '_' || c == '-');
+        return !text.isEmpty()
+                && text.length() <= LONGEST
+                && text.chars()
+                        .allMatch(c -> c >= 'a' && c <= 'z'
+                                || c >= 'A' && c <= 'Z'
+                                || c >= '0' && c <= '9'
+                                || c == '.'
+                                || c == '_'
+                                || c == '-');
     }
 
     private static String address(ByteBuffer b) {
--- a/src/main/java/elderseam/gossip/Member.java
+++ b/src/main/java/elderseam/gossip/Member.java
@@ -8,9 +8,9 @@
     final String name;
     String address;
     Standing standing = Standing.ALIVE;
-    int at;   // its place in the roll's list
+    int at; // its place in the roll's list
     long incarnation, since;
-    final Set<String> confirmed = new HashSet<>();   // who suspects it
+    final Set<String> confirmed = new HashSet<>(); // who suspects it
 
     Member(String name, String address, long incarnation, long since) {
         this.name = name;
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -47,7 +47,7 @@
     private List<String> syncs = new ArrayList<>();
     private Probe probe;
     private long numbers, nextSync, nextNews;
-    private int health;   // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
+    private int health; // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
     private boolean left;
     private BooleanSupplier more = () -> false;
 
@@ -55,8 +55,15 @@
      * {@code seeds}: addresses of members to join through; {@code incarnation}: above that of any earlier life, such as the
      * wall clock at the start; {@code changed}: told each change of another's standing.
      */
-    public Membership(String self, String address, List<String> seeds, long incarnation, Tempo tempo, long now,
-                      SplittableRandom random, BiConsumer<String, Standing> changed) {
+    public Membership(
+            String self,
+            String address,
+            List<String> seeds,
+            long incarnation,
+            Tempo tempo,
+            long now,
+            SplittableRandom random,
+            BiConsumer<String, Standing> changed) {
         this.self = self;
         this.address = address;
         this.seeds = List.copyOf(seeds);
@@ -64,9 +71,15 @@
         this.random = random;
         this.nextSync = now;
         this.nextNews = now;
-        this.roll = new Roll(self, address, incarnation, tempo, changed,
-                m -> round.add(random.nextInt(round.size() + 1), m), () -> feel(1));
-        newProbe(now, (long) (random.nextDouble() * tempo.periodNs()));   // members that start together probe apart
+        this.roll = new Roll(
+                self,
+                address,
+                incarnation,
+                tempo,
+                changed,
+                m -> round.add(random.nextInt(round.size() + 1), m),
+                () -> feel(1));
+        newProbe(now, (long) (random.nextDouble() * tempo.periodNs())); // members that start together probe apart
     }
 
     // ---------------------------------------------------------------- what it knows
@@ -89,8 +102,11 @@
         if (left) {
             return Long.MAX_VALUE;
         }
-        long at = Math.min(nextSync, probe.asked || probe.answered || probe.target == null ? probe.end
-                : Math.min(probe.answerBy, probe.end));
+        long at = Math.min(
+                nextSync,
+                probe.asked || probe.answered || probe.target == null
+                        ? probe.end
+                        : Math.min(probe.answerBy, probe.end));
         if (hasNews() && !roll.all().isEmpty()) {
             at = Math.min(at, nextNews);
         }
@@ -153,14 +169,17 @@
     /** So many at random of those that fit, or all there are. */
     private List<Member> some(int most, Predicate<Member> fits) {
         List<Member> all = roll.all(), some = new ArrayList<>();
-        for (int tries = DRAWS * most; tries > 0 && some.size() < most && !all.isEmpty(); tries--) {   // nearly all fit, as a rule
+        for (int tries = DRAWS * most;
+                tries > 0 && some.size() < most && !all.isEmpty();
+                tries--) { // nearly all fit, as a rule
             Member m = all.get(random.nextInt(all.size()));
             if (fits.test(m) && !some.contains(m)) {
                 some.add(m);
             }
         }
         if (some.size() < most && some.size() < all.size()) {
-            List<Member> rest = new ArrayList<>(all.stream().filter(fits).filter(m -> !some.contains(m)).toList());
+            List<Member> rest = new ArrayList<>(
+                    all.stream().filter(fits).filter(m -> !some.contains(m)).toList());
             while (some.size() < most && !rest.isEmpty()) {
                 some.add(rest.remove(random.nextInt(rest.size())));
             }
@@ -199,12 +218,12 @@
         for (boolean anew = false; probe.target == null; ) {
             if (round.isEmpty()) {
                 if (anew) {
-                    return;   // nobody is there
+                    return; // nobody is there
                 }
                 anew = true;
                 shuffle();
             }
-            Member m = round.isEmpty() ? null : round.remove(round.size() - 1);   // one that has gone is passed over
+            Member m = round.isEmpty() ? null : round.remove(round.size() - 1); // one that has gone is passed over
             if (m != null && m.there() && roll.holds(m)) {
                 probe.target = m;
                 probe.number = ++numbers;
@@ -226,7 +245,9 @@
 
     /** A suspect hears of it first of all (Lifeguard's buddy system). */
     private void ping(Member m, long number) {
-        out.add(new Message.Sent(m.name, new Message.Ping(number, m.name),
+        out.add(new Message.Sent(
+                m.name,
+                new Message.Ping(number, m.name),
                 m.standing == Standing.SUSPECT ? List.of(roll.of(m)) : List.of()));
     }
 
@@ -244,12 +265,15 @@
         double scale = Math.max(1, present() / 32.0);
         nextSync = now + (long) (tempo.syncNs() * scale * (0.75 + 0.5 * random.nextDouble()));
         List<Member> present = some(1, Member::there);
-        List<String> lost = new ArrayList<>(roll.notAlive().stream().filter(m -> m.standing == Standing.DEAD)
-                .map(m -> m.address).toList());
-        seeds.stream().filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
+        List<String> lost = new ArrayList<>(roll.notAlive().stream()
+                .filter(m -> m.standing == Standing.DEAD)
+                .map(m -> m.address)
+                .toList());
+        seeds.stream()
+                .filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
                 .forEach(lost::add);
         if (present.isEmpty()) {
-            nextSync = Math.min(nextSync, now + 2 * tempo.periodNs());   // alone: joins as soon as a seed is there
+            nextSync = Math.min(nextSync, now + 2 * tempo.periodNs()); // alone: joins as soon as a seed is there
             syncs.addAll(lost.isEmpty() ? List.of() : List.of(lost.get(random.nextInt(lost.size()))));
             return;
         }
@@ -274,8 +298,14 @@
             Member m = roll.get(p.target());
             if (m != null && relays.size() < MOST_RELAYS) {
                 long number = ++numbers;
-                relays.put(number, new Relay(from, p.number(), now + tempo.ackNs() * 4 / 5, now + tempo.periodNs() * 2,
-                        new boolean[1]));
+                relays.put(
+                        number,
+                        new Relay(
+                                from,
+                                p.number(),
+                                now + tempo.ackNs() * 4 / 5,
+                                now + tempo.periodNs() * 2,
+                                new boolean[1]));
                 ping(m, number);
             }
         } else if (message instanceof Message.Ack a) {
@@ -351,12 +381,18 @@
 
     /** Who is at that address; empty where nobody is known to be. */
     public String nameAt(String at) {
-        return roll.all().stream().filter(m -> m.address.equals(at)).map(m -> m.name).findFirst().orElse("");
+        return roll.all().stream()
+                .filter(m -> m.address.equals(at))
+                .map(m -> m.name)
+                .findFirst()
+                .orElse("");
     }
 
     /** Every member but this one, as it is held, for those who look. */
     public List<Rumour> seen() {
-        return roll.all().stream().map(m -> new Rumour(m.name, m.address, m.standing, m.incarnation, m.name)).toList();
+        return roll.all().stream()
+                .map(m -> new Rumour(m.name, m.address, m.standing, m.incarnation, m.name))
+                .toList();
     }
 
     /** How ill this member takes itself to be, 0 to {@link Tempo#mostHealth}. */
--- a/src/main/java/elderseam/gossip/Roll.java
+++ b/src/main/java/elderseam/gossip/Roll.java
@@ -21,18 +21,25 @@
     private final BiConsumer<String, Standing> changed;
     private final Consumer<Member> joined;
     private final Runnable accused;
-    private final Map<String, Member> members = new LinkedHashMap<>();   // not this one
+    private final Map<String, Member> members = new LinkedHashMap<>(); // not this one
     private final Spread<Rumour> rumours = new Spread<>(MOST_SUBJECTS, Rumour::bytes);
     private long incarnation;
     /** The same members, so that one can be drawn; those that wait for something: suspects for their end, others to be forgotten. */
     private final List<Member> list = new ArrayList<>();
+
     private final Map<String, Member> waiting = new LinkedHashMap<>();
-    private int there;   // members that are neither dead nor left
+    private int there; // members that are neither dead nor left
 
     /** {@code joined}: told of each new member before {@code changed} is; {@code accused}: run when this one hears itself
      *  suspected. */
-    Roll(String self, String address, long incarnation, Tempo tempo, BiConsumer<String, Standing> changed,
-         Consumer<Member> joined, Runnable accused) {
+    Roll(
+            String self,
+            String address,
+            long incarnation,
+            Tempo tempo,
+            BiConsumer<String, Standing> changed,
+            Consumer<Member> joined,
+            Runnable accused) {
         this.self = self;
         this.address = address;
         this.incarnation = incarnation;
@@ -109,8 +116,11 @@
     /** Another's whole state; its dead are only suspects here, so that they may speak for themselves. */
     void merge(List<Rumour> state, long now) {
         for (Rumour r : state) {
-            hear(r.standing() == Standing.DEAD ? new Rumour(r.member(), r.address(), Standing.SUSPECT, r.incarnation(), r.from())
-                    : r, now);
+            hear(
+                    r.standing() == Standing.DEAD
+                            ? new Rumour(r.member(), r.address(), Standing.SUSPECT, r.incarnation(), r.from())
+                            : r,
+                    now);
         }
     }
 
@@ -155,8 +165,10 @@
 
     private void hearOfSelf(Rumour r) {
         boolean wrong = r.standing() != Standing.ALIVE && r.incarnation() >= incarnation
-                || r.standing() == Standing.ALIVE && (r.incarnation() > incarnation
-                || r.incarnation() == incarnation && !r.address().equals(address));
+                || r.standing() == Standing.ALIVE
+                        && (r.incarnation() > incarnation
+                                || r.incarnation() == incarnation
+                                        && !r.address().equals(address));
         if (wrong) {
             incarnation = r.incarnation() + 1;
             if (r.standing() == Standing.SUSPECT) {
--- a/src/main/java/elderseam/gossip/Spread.java
+++ b/src/main/java/elderseam/gossip/Spread.java
@@ -15,7 +15,7 @@
  * gives way.
  */
 final class Spread<T> {
-    private static final int LEAST = 24;   // bytes: nothing that travels along is shorter
+    private static final int LEAST = 24; // bytes: nothing that travels along is shorter
 
     private static final class Entry<T> {
         final String subject;
@@ -33,7 +33,9 @@
     private final Map<String, Entry<T>> entries = new HashMap<>();
     /** Next to be said first; no two have one age. */
     private final TreeSet<Entry<T>> order = new TreeSet<>(Comparator.<Entry<T>>comparingInt(e -> e.said)
-            .thenComparingInt(e -> -e.weight).thenComparingLong(e -> -e.age));
+            .thenComparingInt(e -> -e.weight)
+            .thenComparingLong(e -> -e.age));
+
     private long clock;
 
     Spread(int most, ToIntFunction<T> size) {
--- a/src/main/java/elderseam/gossip/Standing.java
+++ b/src/main/java/elderseam/gossip/Standing.java
@@ -1,4 +1,9 @@
 package elderseam.gossip;
 
 /** What is held of a member; a later one of the same incarnation outweighs an earlier one. */
-public enum Standing { ALIVE, SUSPECT, DEAD, LEFT }
+public enum Standing {
+    ALIVE,
+    SUSPECT,
+    DEAD,
+    LEFT
+}
--- a/src/main/java/elderseam/gossip/Tempo.java
+++ b/src/main/java/elderseam/gossip/Tempo.java
@@ -17,26 +17,58 @@
  * @param forgetNs how long one that is dead or has left is remembered
  * @param localHealth whether Lifeguard's parts are on
  */
-public record Tempo(long periodNs, long ackNs, int indirect, int suspicion, int suspicionMost, int retransmit, int mostHealth,
-                    long newsNs, int fan, long syncNs, long forgetNs, boolean localHealth) {
+public record Tempo(
+        long periodNs,
+        long ackNs,
+        int indirect,
+        int suspicion,
+        int suspicionMost,
+        int retransmit,
+        int mostHealth,
+        long newsNs,
+        int fan,
+        long syncNs,
+        long forgetNs,
+        boolean localHealth) {
     private static final long MS = 1_000_000;
 
     /** The practice of memberlist on a local network: a period of 1 s, 500 ms for an answer, 3 others, rumours to 3
      *  each 200 ms. */
-    public static final Tempo USUAL = new Tempo(1_000 * MS, 500 * MS, 3, 4, 6, 4, 8, 200 * MS, 3, 30_000 * MS, 120_000 * MS,
-            true);
+    public static final Tempo USUAL =
+            new Tempo(1_000 * MS, 500 * MS, 3, 4, 6, 4, 8, 200 * MS, 3, 30_000 * MS, 120_000 * MS, true);
 
     public Tempo {
-        if (periodNs <= 0 || ackNs <= 0 || ackNs >= periodNs || indirect < 0 || suspicion < 1 || suspicionMost < 1 || retransmit < 1
-                || mostHealth < 0 || newsNs <= 0 || fan < 0 || syncNs <= 0 || forgetNs <= 0) {
+        if (periodNs <= 0
+                || ackNs <= 0
+                || ackNs >= periodNs
+                || indirect < 0
+                || suspicion < 1
+                || suspicionMost < 1
+                || retransmit < 1
+                || mostHealth < 0
+                || newsNs <= 0
+                || fan < 0
+                || syncNs <= 0
+                || forgetNs <= 0) {
             throw new IllegalArgumentException("times that make no sense: " + this);
         }
     }
 
     /** The same without Lifeguard's parts. */
     public Tempo plain() {
-        return new Tempo(periodNs, ackNs, indirect, suspicion, suspicionMost, retransmit, mostHealth, newsNs, fan, syncNs,
-                forgetNs, false);
+        return new Tempo(
+                periodNs,
+                ackNs,
+                indirect,
+                suspicion,
+                suspicionMost,
+                retransmit,
+                mostHealth,
+                newsNs,
+                fan,
+                syncNs,
+                forgetNs,
+                false);
     }
 
     private static double log(int members) {
--- a/src/main/java/elderseam/gossip/net/Datagrams.java
+++ b/src/main/java/elderseam/gossip/net/Datagrams.java
@@ -35,7 +35,8 @@
         this.io = io;
         this.reader = reader;
         this.pace = new Bucket(A_SECOND, A_SECOND / 4.0, io.clock.now());
-        this.channel = io.worker().createUdpServer(at, (ChannelListener<MulticastMessageChannel>) null, OptionMap.EMPTY);
+        this.channel =
+                io.worker().createUdpServer(at, (ChannelListener<MulticastMessageChannel>) null, OptionMap.EMPTY);
         channel.getReadSetter().set(this::readable);
         channel.resumeReads();
     }
@@ -54,12 +55,12 @@
                     return;
                 }
                 buffer.clear();
-                if (channel.receiveFrom(address, buffer) <= 0) {   // an empty datagram ends the pass, and no more
+                if (channel.receiveFrom(address, buffer) <= 0) { // an empty datagram ends the pass, and no more
                     return;
                 }
                 reader.read(address.getSourceAddress(InetSocketAddress.class), buffer.array(), buffer.position());
             }
-        } catch (IOException e) {   // such as an ICMP error for an earlier datagram
+        } catch (IOException e) { // such as an ICMP error for an earlier datagram
             unsent++;
         }
     }
@@ -70,7 +71,7 @@
             if (!channel.sendTo(to, ByteBuffer.wrap(bytes))) {
                 unsent++;
             }
-        } catch (IOException | RuntimeException e) {   // no route, a port of 0
+        } catch (IOException | RuntimeException e) { // no route, a port of 0
             unsent++;
         }
     }
--- a/src/main/java/elderseam/gossip/net/Exchanges.java
+++ b/src/main/java/elderseam/gossip/net/Exchanges.java
@@ -28,20 +28,24 @@
 
     private static final int INBOUND = 8, OUTBOUND = 4, ENVELOPES = 8;
     private static final long WHOLE_NS = 5_000_000_000L;
-    private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, 16).getMap();
+    private static final OptionMap OPTIONS = OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(Options.REUSE_ADDRESSES, true)
+            .set(Options.BACKLOG, 16)
+            .getMap();
 
     private final Io io;
     private final Talk talk;
     private final AcceptingChannel<StreamConnection> server;
-    private final InetSocketAddress from;   // others know this instance by its address
+    private final InetSocketAddress from; // others know this instance by its address
     private int inbound, outbound;
     private long refused, failed;
 
     Exchanges(Io io, InetSocketAddress at, Talk talk) throws IOException {
         this.io = io;
         this.talk = talk;
-        this.server = io.worker().createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accepted), OPTIONS);
+        this.server = io.worker()
+                .createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accepted), OPTIONS);
         server.resumeAccepts();
         this.from = new InetSocketAddress(at.getAddress(), 0);
     }
@@ -69,16 +73,22 @@
         outbound++;
         long by = io.clock.now() + WHOLE_NS;
         boolean[] over = new boolean[1];
-        IoFuture<StreamConnection> connecting = io.thread().openStreamConnection(from, at, channel -> {
-            if (over[0]) {
-                IoUtils.safeClose(channel);
-                return;
-            }
-            over[0] = true;
-            Line line = new Line(channel, false, by, to, body);
-            line.begin();
-            line.send(seal.apply(to, body));
-        }, null, OPTIONS);
+        IoFuture<StreamConnection> connecting = io.thread()
+                .openStreamConnection(
+                        from,
+                        at,
+                        channel -> {
+                            if (over[0]) {
+                                IoUtils.safeClose(channel);
+                                return;
+                            }
+                            over[0] = true;
+                            Line line = new Line(channel, false, by, to, body);
+                            line.begin();
+                            line.send(seal.apply(to, body));
+                        },
+                        null,
+                        OPTIONS);
         Runnable gone = () -> {
             if (!over[0]) {
                 over[0] = true;
@@ -86,11 +96,13 @@
                 failed++;
             }
         };
-        connecting.addNotifier((future, none) -> {
-            if (future.getStatus() != IoFuture.Status.DONE) {
-                io.run(gone);
-            }
-        }, null);
+        connecting.addNotifier(
+                (future, none) -> {
+                    if (future.getStatus() != IoFuture.Status.DONE) {
+                        io.run(gone);
+                    }
+                },
+                null);
         io.at(by, () -> {
             connecting.cancel();
             gone.run();
@@ -117,9 +129,9 @@
         private final boolean in;
         private final long by;
         private final InetSocketAddress peer;
-        final String to;        // whom an own one is for, "" where not known
-        final byte[] body;      // what an own one came to say
-        byte[] owes;            // what this side answered last, until it is known to have opened
+        final String to; // whom an own one is for, "" where not known
+        final byte[] body; // what an own one came to say
+        byte[] owes; // what this side answered last, until it is known to have opened
         private final ByteBuffer head = ByteBuffer.allocate(4);
         private ByteBuffer reading;
         private final ArrayDeque<ByteBuffer> writing = new ArrayDeque<>();
@@ -168,7 +180,7 @@
                             close();
                             return;
                         }
-                        reading = ByteBuffer.allocate(length);   // eight at once, so 2 MB at most
+                        reading = ByteBuffer.allocate(length); // eight at once, so 2 MB at most
                     } else {
                         byte[] whole = reading.array();
                         reading = null;
--- a/src/main/java/elderseam/gossip/net/Opening.java
+++ b/src/main/java/elderseam/gossip/net/Opening.java
@@ -14,8 +14,13 @@
 public record Opening(Post.Place place, KeyFile key, Keyring keys) {
     public static Opening read(Settings s) throws IOException {
         KeyFile key = KeyFile.read(Path.of(s.get(Keys.GOSSIP_KEY_FILE)));
-        Post.Place place = new Post.Place(s.get(Keys.GOSSIP_NAME), Post.address(s.get(Keys.GOSSIP_LISTEN)), s.get(Keys.GOSSIP_ADVERTISE),
-                s.get(Keys.GOSSIP_SEEDS), s.get(Keys.GOSSIP_BYTES), s.get(Keys.GOSSIP_DATAGRAMS));
+        Post.Place place = new Post.Place(
+                s.get(Keys.GOSSIP_NAME),
+                Post.address(s.get(Keys.GOSSIP_LISTEN)),
+                s.get(Keys.GOSSIP_ADVERTISE),
+                s.get(Keys.GOSSIP_SEEDS),
+                s.get(Keys.GOSSIP_BYTES),
+                s.get(Keys.GOSSIP_DATAGRAMS));
         return new Opening(place, key, new Keyring(key, roster(s, place.name(), key)));
     }
 
--- a/src/main/java/elderseam/gossip/net/Post.java
+++ b/src/main/java/elderseam/gossip/net/Post.java
@@ -30,8 +30,13 @@
  */
 public final class Post {
     /** Where and as whom it speaks. {@code advertise}: the address that others are told, empty for the one it listens on. */
-    public record Place(String name, InetSocketAddress listen, String advertise, List<String> seeds, double bytesPerS,
-                        double datagramsPerS) {}
+    public record Place(
+            String name,
+            InetSocketAddress listen,
+            String advertise,
+            List<String> seeds,
+            double bytesPerS,
+            double datagramsPerS) {}
 
     /** What it needs of the rest: the own breakers, who is told what others say, and where words for the operator go. */
     public record Ties(Supplier<List<Agent.Own>> own, BiConsumer<Long, Agent.Word> advise, Consumer<String> log) {}
@@ -45,8 +50,8 @@
     private final Datagrams datagrams;
     private final Exchanges exchanges;
     private final Agent agent;
-    private final Map<String, byte[]> vain = new HashMap<>();   // the last body to each whose token is not known yet
-    private final Map<String, Standing> told = new HashMap<>();   // by name of the roster
+    private final Map<String, byte[]> vain = new HashMap<>(); // the last body to each whose token is not known yet
+    private final Map<String, Standing> told = new HashMap<>(); // by name of the roster
     private long tickAt = Long.MAX_VALUE, countsAt, suspicions;
     private String counts = "";
     private boolean closed;
@@ -62,8 +67,17 @@
         this.exchanges = new Exchanges(io, place.listen(), this::read);
         this.datagrams = new Datagrams(io, exchanges.local(), this::read);
         String address = place.advertise().isEmpty() ? text(exchanges.local()) : place.advertise();
-        this.agent = new Agent(place.name(), address, place.seeds(), wallMs(), tempo,
-                new Ceiling(place.bytesPerS(), place.datagramsPerS(), now), keys, now, new SplittableRandom(secure.nextLong()), this::changed);
+        this.agent = new Agent(
+                place.name(),
+                address,
+                place.seeds(),
+                wallMs(),
+                tempo,
+                new Ceiling(place.bytesPerS(), place.datagramsPerS(), now),
+                keys,
+                now,
+                new SplittableRandom(secure.nextLong()),
+                this::changed);
         this.countsAt = now + COUNTS_NS;
         ties.log().accept(place.name() + " at " + address);
         flush();
@@ -79,7 +93,8 @@
     /** Of a numeric {@code ADDRESS:PORT}, which needs no look-up. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon).replaceAll("[\\[\\]]", ""), Integer.parseInt(text.substring(colon + 1)));
+        return new InetSocketAddress(
+                text.substring(0, colon).replaceAll("[\\[\\]]", ""), Integer.parseInt(text.substring(colon + 1)));
     }
 
     private static long wallMs() {
@@ -183,13 +198,13 @@
                 line.end();
             }
             flush();
-        } else if (o.from() != null) {   // it did not know this instance's token: the same again
+        } else if (o.from() != null) { // it did not know this instance's token: the same again
             byte[] body = line.owes != null ? line.owes : line.body;
             if (body != null) {
                 line.send(door.seal(o.from(), body, wallMs(), now));
             }
         } else {
-            line.end();   // dropped: nothing more is to be had there
+            line.end(); // dropped: nothing more is to be had there
         }
     }
 
@@ -225,7 +240,8 @@
 
     /** In one line: who is there, and what was dropped. */
     public String counts() {
-        StringBuilder s = new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
+        StringBuilder s =
+                new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
         boolean any = false;
         for (Door.Drop d : Door.Drop.values()) {
             any |= add(s, d.wireName(), door.dropped(d));
--- a/src/main/java/elderseam/gossip/trial/Dispatcher.java
+++ b/src/main/java/elderseam/gossip/trial/Dispatcher.java
@@ -22,7 +22,15 @@
     private static final List<Sender.MessageClass> CLASSES = Policies.CLASSES;
 
     /** What it came to: of all messages, by worth; {@code broken}: rules broken. */
-    record Tally(double worth, double possible, int messages, int calls, int failedCalls, int refusals, int failures, int broken) {}
+    record Tally(
+            double worth,
+            double possible,
+            int messages,
+            int calls,
+            int failedCalls,
+            int refusals,
+            int failures,
+            int broken) {}
 
     private static final class Held {
         final String id;
@@ -44,18 +52,24 @@
     private final Map<Long, Partner> partners;
     private final Brain brain;
     private final SplittableRandom random;
-    private final Map<Long, Double> shares = new HashMap<>();   // calls a second that its clients want of a partner
+    private final Map<Long, Double> shares = new HashMap<>(); // calls a second that its clients want of a partner
     private final double all;
     private final int slots;
     private final String name;
     private final Map<String, Held> held = new HashMap<>();
     private final Map<Long, Long> waits = new HashMap<>();
-    private final List<Runnable> after = new ArrayList<>();   // timers asked for in an event
+    private final List<Runnable> after = new ArrayList<>(); // timers asked for in an event
     private int ids, out, messages, calls, failedCalls, refusals, failures, broken;
     private double worth, possible;
     private long until;
 
-    Dispatcher(String name, VirtualTime time, Map<Long, Partner> partners, int senders, Map<Long, Double> shares, SplittableRandom random) {
+    Dispatcher(
+            String name,
+            VirtualTime time,
+            Map<Long, Partner> partners,
+            int senders,
+            Map<Long, Double> shares,
+            SplittableRandom random) {
         this.name = name;
         this.time = time;
         this.partners = partners;
@@ -63,11 +77,33 @@
         this.all = shares.values().stream().mapToDouble(s -> s).sum();
         this.random = random;
         this.slots = 32;
-        Sender.Settings settings = new Sender.Settings(CLASSES, List.of(new Sender.Kind(false, 1)), List.of(), slots, 400, 6, senders, 0,
-                true, 1, true, false, false, Sender.Rates.EXACT, 2 * S, 250 * MS, Partner.COLD_SHARE, Partner.COLD_NS,
-                Partner.FALL_MULTIPLE, Partner.FALL_NS, 100 * MS, new Sender.Connections(5 * S, 1, 1_500 * MS), new Sender.Prices(0, 0, List.of()));
+        Sender.Settings settings = new Sender.Settings(
+                CLASSES,
+                List.of(new Sender.Kind(false, 1)),
+                List.of(),
+                slots,
+                400,
+                6,
+                senders,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                Sender.Rates.EXACT,
+                2 * S,
+                250 * MS,
+                Partner.COLD_SHARE,
+                Partner.COLD_NS,
+                Partner.FALL_MULTIPLE,
+                Partner.FALL_NS,
+                100 * MS,
+                new Sender.Connections(5 * S, 1, 1_500 * MS),
+                new Sender.Prices(0, 0, List.of()));
         this.brain = new Brain(settings, random.nextLong(), this);
-        List<Sender.Endpoint> list = partners.values().stream().map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
+        List<Sender.Endpoint> list = partners.values().stream()
+                .map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
                 .toList();
         brain.endpoints(time.now(), Sender.ListKind.WHOLE, list);
     }
@@ -92,7 +128,14 @@
                     }
                 }
                 int k = random.nextInt(10);
-                handIn(new Held(name + "-" + ids++, k < 5 ? 0 : k < 8 ? 1 : 2, to, time.now(), time.now() + CLASSES.get(k < 5 ? 0 : k < 8 ? 1 : 2).deadlineNs()),
+                handIn(
+                        new Held(
+                                name + "-" + ids++,
+                                k < 5 ? 0 : k < 8 ? 1 : 2,
+                                to,
+                                time.now(),
+                                time.now()
+                                        + CLASSES.get(k < 5 ? 0 : k < 8 ? 1 : 2).deadlineNs()),
                         false);
                 next();
             });
@@ -105,7 +148,8 @@
             possible += CLASSES.get(m.cls).worth();
         }
         held.put(m.id, m);
-        event(() -> brain.message(time.now(), new Sender.Message(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
+        event(() ->
+                brain.message(time.now(), new Sender.Message(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
     }
 
     /** Each event is a turn of its own. */
@@ -127,7 +171,11 @@
     public void send(String id, String endpoint, long stopAt) {
         Held m = held.get(id);
         long now = time.now();
-        if (m == null || m.out >= 0 || m.maybeRan && m.cls == 2 || now >= m.deadline || now < waits.getOrDefault(m.destination, 0L)
+        if (m == null
+                || m.out >= 0
+                || m.maybeRan && m.cls == 2
+                || now >= m.deadline
+                || now < waits.getOrDefault(m.destination, 0L)
                 || out >= slots) {
             broken++;
             return;
@@ -145,7 +193,7 @@
 
     private void ended(Held m, int attempt, String endpoint, long start, Partner.Reply r) {
         if (m.out != attempt || held.get(m.id) != m && r.result() != Sender.Result.CANCELLED) {
-            return;   // cut short before
+            return; // cut short before
         }
         long now = time.now();
         m.out = -1;
@@ -163,8 +211,18 @@
         if (r.waitNs() > 0) {
             waits.merge(m.destination, now + r.waitNs(), Math::max);
         }
-        event(() -> brain.outcome(now, new Sender.Outcome(m.id, attempt, endpoint, r.result(), now - start, r.waitNs(), false, done,
-                Sender.Report.NONE)));
+        event(() -> brain.outcome(
+                now,
+                new Sender.Outcome(
+                        m.id,
+                        attempt,
+                        endpoint,
+                        r.result(),
+                        now - start,
+                        r.waitNs(),
+                        false,
+                        done,
+                        Sender.Report.NONE)));
     }
 
     @Override
@@ -173,7 +231,10 @@
         if (m != null && m.out == attempt) {
             long now = time.now();
             failedCalls++;
-            after.add(() -> time.at(now, () -> ended(m, attempt, "p" + m.destination, now, new Partner.Reply(Sender.Result.CANCELLED, 0, 0))));
+            after.add(() -> time.at(
+                    now,
+                    () -> ended(
+                            m, attempt, "p" + m.destination, now, new Partner.Reply(Sender.Result.CANCELLED, 0, 0))));
         }
     }
 
@@ -185,7 +246,7 @@
             broken++;
         }
         long at = time.now() + Math.max(retryAfterNs, 200 * MS) + (long) (200 * MS * random.nextDouble());
-        if (at < m.deadline) {   // its client brings it again
+        if (at < m.deadline) { // its client brings it again
             Held again = new Held(m.id, m.cls, m.destination, m.born, m.deadline);
             time.at(at, () -> handIn(again, true));
         }
@@ -223,11 +284,18 @@
     @Override
     public List<Agent.Own> own() {
         List<Agent.Own> all = new ArrayList<>();
-        brain.breakers(time.now(), (id, b) -> all.add(new Agent.Own(id, switch (b.standing()) {
-            case CLOSED -> Claim.State.CLOSED;
-            case HALF_OPEN -> Claim.State.HALF_OPEN;
-            case OPEN -> Claim.State.OPEN;
-        }, (int) (Math.max(0, b.waitNs()) / MS), b.calls(), b.failed())));
+        brain.breakers(
+                time.now(),
+                (id, b) -> all.add(new Agent.Own(
+                        id,
+                        switch (b.standing()) {
+                            case CLOSED -> Claim.State.CLOSED;
+                            case HALF_OPEN -> Claim.State.HALF_OPEN;
+                            case OPEN -> Claim.State.OPEN;
+                        },
+                        (int) (Math.max(0, b.waitNs()) / MS),
+                        b.calls(),
+                        b.failed())));
         return all;
     }
 
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/gossip/trial/Fleet.java
@@ -23,7 +23,7 @@
  */
 public final class Fleet {
     private static final long MS = 1_000_000;
-    private static final int HEAD = 110;   // bytes of an envelope with a short name: seal, key, token, number, clock
+    private static final int HEAD = 110; // bytes of an envelope with a short name: seal, key, token, number, clock
     private static final long LOOK_NS = 250 * MS;
 
     /** What a node's dispatcher tells of its breakers, and is told of others'. */
@@ -106,7 +106,8 @@
         this.network = seeds.split();
         for (int i = 0; i < instances; i++) {
             String name = String.format("n%04d", i);
-            nodes.put(name, new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000 * MS));   // clocks two minutes apart
+            nodes.put(
+                    name, new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000 * MS)); // clocks two minutes apart
         }
         nodes.values().forEach(n -> start(n, 0));
     }
@@ -116,8 +117,17 @@
         n.hung = false;
         n.lives++;
         String by = n.name;
-        n.agent = new Agent(n.name, n.name, List.of("n0000", "n0001"), incarnation, tempo, new Ceiling(64 << 10, 100, n.now()), TRUST,
-                n.now(), seeds.split(), (of, standing) -> changes.add(new Change(time.now(), by, of, standing)));
+        n.agent = new Agent(
+                n.name,
+                n.name,
+                List.of("n0000", "n0001"),
+                incarnation,
+                tempo,
+                new Ceiling(64 << 10, 100, n.now()),
+                TRUST,
+                n.now(),
+                seeds.split(),
+                (of, standing) -> changes.add(new Change(time.now(), by, of, standing)));
         n.tickAt = Long.MAX_VALUE;
         flush(n);
     }
@@ -154,7 +164,9 @@
             }
         });
         for (; time.now() - start <= within; pass(10 * MS)) {
-            if (nodes.values().stream().filter(n -> n.up).allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
+            if (nodes.values().stream()
+                    .filter(n -> n.up)
+                    .allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
                 return time.now() - start;
             }
         }
@@ -281,12 +293,14 @@
         if (next < Long.MAX_VALUE && (next < n.tickAt || n.tickAt < n.now())) {
             n.tickAt = next;
             long life = n.lives;
-            time.at(next - n.clockOff, () -> on(n, life, () -> {
-                if (n.tickAt == next) {
-                    n.tickAt = Long.MAX_VALUE;
-                }
-                n.agent.tick(n.now());
-            }));
+            time.at(
+                    next - n.clockOff,
+                    () -> on(n, life, () -> {
+                        if (n.tickAt == next) {
+                            n.tickAt = Long.MAX_VALUE;
+                        }
+                        n.agent.tick(n.now());
+                    }));
         }
     }
 
@@ -295,7 +309,8 @@
     }
 
     private long delay() {
-        return (long) (MS * (0.5 + 4 * network.nextDouble() * network.nextDouble()));   // now and then one overtakes another
+        return (long)
+                (MS * (0.5 + 4 * network.nextDouble() * network.nextDouble())); // now and then one overtakes another
     }
 
     private void carry(Node from, Node to, byte[] bytes) {
@@ -305,8 +320,13 @@
             boolean lost = network.nextDouble() < loss;
             long at = time.now() + delay();
             if (!lost && to != null && !apart(from, to)) {
-                time.at(at, () -> on(to, to.lives, () ->
-                        to.agent.receive(from.name, Codec.decode(ByteBuffer.wrap(bytes)), to.now(), to.wallMs(), wall)));
+                time.at(
+                        at,
+                        () -> on(
+                                to,
+                                to.lives,
+                                () -> to.agent.receive(
+                                        from.name, Codec.decode(ByteBuffer.wrap(bytes)), to.now(), to.wallMs(), wall)));
             }
         }
     }
@@ -319,15 +339,21 @@
         Packet states = a.agent.state(false, a.now());
         a.bytes += whole(states);
         long lifeA = a.lives, wall = a.wallMs();
-        time.at(time.now() + delay(), () -> on(b, b.lives, () -> {
-            Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
-            b.bytes += whole(back);
-            long backWall = b.wallMs();
-            time.at(time.now() + delay(), () -> on(a, lifeA, () -> a.agent.receive(b.name, back, a.now(), a.wallMs(), backWall)));
-        }));
+        time.at(
+                time.now() + delay(),
+                () -> on(b, b.lives, () -> {
+                    Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
+                    b.bytes += whole(back);
+                    long backWall = b.wallMs();
+                    time.at(
+                            time.now() + delay(),
+                            () -> on(a, lifeA, () -> a.agent.receive(b.name, back, a.now(), a.wallMs(), backWall)));
+                }));
     }
 
     private static long whole(Packet p) {
-        return HEAD + p.rumours().stream().mapToInt(r -> r.bytes()).sum() + p.claims().stream().mapToInt(c -> c.bytes()).sum();
+        return HEAD
+                + p.rumours().stream().mapToInt(r -> r.bytes()).sum()
+                + p.claims().stream().mapToInt(c -> c.bytes()).sum();
     }
 }
--- a/src/main/java/elderseam/gossip/trial/Partner.java
+++ b/src/main/java/elderseam/gossip/trial/Partner.java
@@ -10,13 +10,17 @@
  */
 final class Partner {
     private static final long MS = 1_000_000, S = 1_000 * MS;
-    private static final double CHANCE = 8;   // calls at once that say nothing: they come at random
-    private static final double SPORADIC = 0.01, SICK = 0.2;   // calls that fail without an outage
+    private static final double CHANCE = 8; // calls at once that say nothing: they come at random
+    private static final double SPORADIC = 0.01, SICK = 0.2; // calls that fail without an outage
     static final double COLD_SHARE = 0.25, FALL_MULTIPLE = 2;
     static final long COLD_NS = 10 * S, FALL_NS = 2 * S, USUAL_NS = 40 * MS;
 
     /** How it fails in an outage. */
-    enum Fault { REFUSES, HANGS, ERRORS }
+    enum Fault {
+        REFUSES,
+        HANGS,
+        ERRORS
+    }
 
     /** From when to when, and how. */
     record Outage(long from, long to, Fault fault) {}
@@ -28,7 +32,7 @@
     final double perS;
     private final List<Outage> outages;
     private final long seed;
-    private double load;      // calls above what it stands for the multiple, and when that was taken
+    private double load; // calls above what it stands for the multiple, and when that was taken
     private long loadAt;
     private long downUntil, warmFrom = Long.MIN_VALUE / 2, shutUntil;
     private long sickFrom, sickTo;
@@ -77,7 +81,7 @@
                 case ERRORS -> new Reply(Sender.Result.ERROR, 10 * MS, 0);
             };
         }
-        if (last != null) {   // it has come back, cold, at the end of that outage
+        if (last != null) { // it has come back, cold, at the end of that outage
             warmFrom = last.to;
             last = null;
         }
--- a/src/main/java/elderseam/gossip/trial/Service.java
+++ b/src/main/java/elderseam/gossip/trial/Service.java
@@ -19,13 +19,26 @@
  * @param service worth delivered of all worth handed in to dispatchers that don't lie
  * @param felled times that a cold partner was pushed over (rule 4); broken: rules broken by any dispatcher
  */
-public record Service(int instances, double loss, int liars, boolean gossip, long seed, double service, int messages, int calls,
-                      int failedCalls, int callsWhileDown, int refusals, int failures, int felled, int broken) {
+public record Service(
+        int instances,
+        double loss,
+        int liars,
+        boolean gossip,
+        long seed,
+        double service,
+        int messages,
+        int calls,
+        int failedCalls,
+        int callsWhileDown,
+        int refusals,
+        int failures,
+        int felled,
+        int broken) {
     private static final long S = 1_000_000_000L;
-    private static final double LOAD = 0.6;       // of what the partners stand together
+    private static final double LOAD = 0.6; // of what the partners stand together
     private static final int PARTNERS = 8;
-    private static final double UNEVEN = 100;     // between those whose clients want a partner most and least
-    private static final double BUSY = 8, RARE = 1;   // calls a second that a partner stands, for each dispatcher
+    private static final double UNEVEN = 100; // between those whose clients want a partner most and least
+    private static final double BUSY = 8, RARE = 1; // calls a second that a partner stands, for each dispatcher
 
     public static Service run(int instances, double loss, int liars, boolean gossip, long seed) {
         if (instances < 3 || instances > 1_000 || liars < 0 || liars >= instances) {
@@ -38,7 +51,7 @@
         long from = time.now();
         Map<Long, Partner> partners = new TreeMap<>();
         for (long id = 1; id <= PARTNERS; id++) {
-            double each = (id % 4 == 1 ? BUSY : RARE) * instances;   // calls a second that a partner stands
+            double each = (id % 4 == 1 ? BUSY : RARE) * instances; // calls a second that a partner stands
             partners.put(id, new Partner(id, each, outages(id, from), seeds.nextLong()));
         }
         partners.get(6L).sick(from + 75 * S, from + 110 * S);
@@ -71,9 +84,21 @@
                 failures += t.failures();
             }
         }
-        return new Service(instances, loss, liars, gossip, seed, worth / possible, messages, calls, failedCalls,
-                partners.values().stream().mapToInt(p -> p.callsWhileDown).sum(), refusals, failures,
-                partners.values().stream().mapToInt(p -> p.felled).sum(), broken);
+        return new Service(
+                instances,
+                loss,
+                liars,
+                gossip,
+                seed,
+                worth / possible,
+                messages,
+                calls,
+                failedCalls,
+                partners.values().stream().mapToInt(p -> p.callsWhileDown).sum(),
+                refusals,
+                failures,
+                partners.values().stream().mapToInt(p -> p.felled).sum(),
+                broken);
     }
 
     /** What each dispatcher's clients want of each partner: from a few hundredths to many times of another's, as tenants differ. */
@@ -83,7 +108,8 @@
             all.add(new TreeMap<>());
         }
         for (Partner p : partners.values()) {
-            double[] parts = random.doubles(instances).map(x -> Math.pow(UNEVEN, x)).toArray();
+            double[] parts =
+                    random.doubles(instances).map(x -> Math.pow(UNEVEN, x)).toArray();
             double sum = 0;
             for (double x : parts) {
                 sum += x;
@@ -99,8 +125,10 @@
         return switch ((int) id) {
             case 1 -> List.of(new Partner.Outage(from + 30 * S, from + 60 * S, Partner.Fault.REFUSES));
             case 2 -> List.of(new Partner.Outage(from + 40 * S, from + 70 * S, Partner.Fault.HANGS));
-            case 3 -> List.of(new Partner.Outage(from + 50 * S, from + 65 * S, Partner.Fault.ERRORS),
-                    new Partner.Outage(from + 90 * S, from + 95 * S, Partner.Fault.ERRORS));
+            case 3 ->
+                List.of(
+                        new Partner.Outage(from + 50 * S, from + 65 * S, Partner.Fault.ERRORS),
+                        new Partner.Outage(from + 90 * S, from + 95 * S, Partner.Fault.ERRORS));
             case 4 -> List.of(new Partner.Outage(from + 35 * S, from + 75 * S, Partner.Fault.REFUSES));
             default -> List.of();
         };
@@ -111,7 +139,9 @@
             @Override
             public List<Agent.Own> own() {
                 Claim.State says = flaps && time.now() / (5 * S) % 2 == 1 ? Claim.State.CLOSED : Claim.State.OPEN;
-                return partners.keySet().stream().map(id -> new Agent.Own(id, says, 10_000, 100, 100)).toList();
+                return partners.keySet().stream()
+                        .map(id -> new Agent.Own(id, says, 10_000, 100, 100))
+                        .toList();
             }
 
             @Override
@@ -123,16 +153,46 @@
 
     /** One JSON object in one line. */
     public String json() {
-        return String.format(Locale.ROOT, "{\"instances\":%d,\"loss\":%.3f,\"liars\":%d,\"gossip\":%b,\"seed\":%d,\"service\":%.5f,"
-                + "\"messages\":%d,\"calls\":%d,\"failed_calls\":%d,\"calls_while_down\":%d,\"refusals\":%d,\"failures\":%d,\"felled\":%d,"
-                + "\"broken\":%d}", instances, loss, liars, gossip, seed, service, messages, calls, failedCalls, callsWhileDown, refusals,
-                failures, felled, broken);
+        return String.format(
+                Locale.ROOT,
+                "{\"instances\":%d,\"loss\":%.3f,\"liars\":%d,\"gossip\":%b,\"seed\":%d,\"service\":%.5f,"
+                        + "\"messages\":%d,\"calls\":%d,\"failed_calls\":%d,\"calls_while_down\":%d,\"refusals\":%d,\"failures\":%d,\"felled\":%d,"
+                        + "\"broken\":%d}",
+                instances,
+                loss,
+                liars,
+                gossip,
+                seed,
+                service,
+                messages,
+                calls,
+                failedCalls,
+                callsWhileDown,
+                refusals,
+                failures,
+                felled,
+                broken);
     }
 
     /** The same in words. */
     public String words() {
-        return String.format(Locale.ROOT, "%d dispatchers, %d lying, loss %.0f%%, gossip %s, seed %d%n  service %.4f of %d messages; %d calls, %d failed "
-                + "(%d while partners were down)%n  %d refusals, %d failures; cold partners felled %d times, rules broken %d", instances, liars,
-                loss * 100, gossip ? "on" : "off", seed, service, messages, calls, failedCalls, callsWhileDown, refusals, failures, felled, broken);
+        return String.format(
+                Locale.ROOT,
+                "%d dispatchers, %d lying, loss %.0f%%, gossip %s, seed %d%n  service %.4f of %d messages; %d calls, %d failed "
+                        + "(%d while partners were down)%n  %d refusals, %d failures; cold partners felled %d times, rules broken %d",
+                instances,
+                liars,
+                loss * 100,
+                gossip ? "on" : "off",
+                seed,
+                service,
+                messages,
+                calls,
+                failedCalls,
+                callsWhileDown,
+                refusals,
+                failures,
+                felled,
+                broken);
     }
 }
