--- a/src/main/java/elderseam/gossip/trial/Trial.java
+++ b/src/main/java/elderseam/gossip/trial/Trial.java
@@ -17,13 +17,27 @@
  * @param claimMs from a breaker that opens at one until all hold its claim, -1: not within 60 s
  * @param suspectedMs from the kill until the first suspected it; deadMs: held it dead; allMs: until all did, -1: not within 120 s
  */
-public record Trial(int instances, double loss, boolean localHealth, long seed, long joinedMs, long falseSuspicions, long falseDeaths,
-                    long bytesPerS, long mostBytesPerS, double datagramsPerS, long claimMs, long suspectedMs, long deadMs, long allMs) {
+public record Trial(
+        int instances,
+        double loss,
+        boolean localHealth,
+        long seed,
+        long joinedMs,
+        long falseSuspicions,
+        long falseDeaths,
+        long bytesPerS,
+        long mostBytesPerS,
+        double datagramsPerS,
+        long claimMs,
+        long suspectedMs,
+        long deadMs,
+        long allMs) {
     private static final long MS = 1_000_000, S = 1_000 * MS;
 
     public static Trial run(int instances, double loss, boolean localHealth, int undisturbedS, long seed) {
         if (instances < 3 || instances > 1_000 || loss < 0 || loss > 0.9 || undisturbedS < 1) {
-            throw new IllegalArgumentException("a trial has 3 to 1000 instances, a loss of 0 to 0.9, at least 1 s undisturbed");
+            throw new IllegalArgumentException(
+                    "a trial has 3 to 1000 instances, a loss of 0 to 0.9, at least 1 s undisturbed");
         }
         Fleet fleet = new Fleet(instances, localHealth ? Tempo.USUAL : Tempo.USUAL.plain(), loss, loss / 10, seed);
         long joined = fleet.untilAgreed(300 * S);
@@ -31,8 +45,10 @@
         fleet.traffic();
         int before = fleet.changes().size();
         fleet.pass(undisturbedS * S);
-        List<Fleet.Change> noise = fleet.changes().subList(before, fleet.changes().size());
-        long suspicions = noise.stream().filter(c -> c.standing() == Standing.SUSPECT).count();
+        List<Fleet.Change> noise =
+                fleet.changes().subList(before, fleet.changes().size());
+        long suspicions =
+                noise.stream().filter(c -> c.standing() == Standing.SUSPECT).count();
         long deaths = noise.stream().filter(c -> c.standing() == Standing.DEAD).count();
         Map<String, long[]> traffic = fleet.traffic();
         long bytes = traffic.values().stream().mapToLong(t -> t[0]).sum() / instances / undisturbedS;
@@ -56,24 +72,66 @@
                 first[2] = first[2] < 0 && dead >= instances - 1 ? ms : first[2];
             }
         }
-        return new Trial(instances, loss, localHealth, seed, joined / MS, suspicions, deaths, bytes, most, datagrams, claim < 0 ? -1 : claim / MS, first[0],
-                first[1], first[2]);
+        return new Trial(
+                instances,
+                loss,
+                localHealth,
+                seed,
+                joined / MS,
+                suspicions,
+                deaths,
+                bytes,
+                most,
+                datagrams,
+                claim < 0 ? -1 : claim / MS,
+                first[0],
+                first[1],
+                first[2]);
     }
 
     /** One JSON object in one line. */
     public String json() {
-        return String.format(Locale.ROOT, "{\"instances\":%d,\"loss\":%.3f,\"local_health\":%b,\"seed\":%d,\"joined_ms\":%d,"
-                + "\"false_suspicions\":%d,\"false_deaths\":%d,\"bytes_per_s\":%d,\"most_bytes_per_s\":%d,\"datagrams_per_s\":%.2f,"
-                + "\"claim_ms\":%d,\"suspected_ms\":%d,\"dead_ms\":%d,\"all_ms\":%d}", instances, loss, localHealth, seed, joinedMs, falseSuspicions,
-                falseDeaths, bytesPerS, mostBytesPerS, datagramsPerS, claimMs, suspectedMs, deadMs, allMs);
+        return String.format(
+                Locale.ROOT,
+                "{\"instances\":%d,\"loss\":%.3f,\"local_health\":%b,\"seed\":%d,\"joined_ms\":%d,"
+                        + "\"false_suspicions\":%d,\"false_deaths\":%d,\"bytes_per_s\":%d,\"most_bytes_per_s\":%d,\"datagrams_per_s\":%.2f,"
+                        + "\"claim_ms\":%d,\"suspected_ms\":%d,\"dead_ms\":%d,\"all_ms\":%d}",
+                instances,
+                loss,
+                localHealth,
+                seed,
+                joinedMs,
+                falseSuspicions,
+                falseDeaths,
+                bytesPerS,
+                mostBytesPerS,
+                datagramsPerS,
+                claimMs,
+                suspectedMs,
+                deadMs,
+                allMs);
     }
 
     /** The same in words. */
     public String words() {
-        return String.format(Locale.ROOT, "%d instances, loss %.0f%%, local health %s, seed %d%n  joined after %d ms%n"
-                + "  suspected wrongly %d times, held dead wrongly %d times%n  %d bytes a second each (at most %d), %.2f datagrams%n"
-                + "  a claim of one held by all after %d ms%n  one killed: suspected after %d ms, dead after %d, known to all after %d%n", instances, loss * 100,
-                localHealth ? "on" : "off", seed, joinedMs, falseSuspicions, falseDeaths, bytesPerS, mostBytesPerS, datagramsPerS,
-                claimMs, suspectedMs, deadMs, allMs);
+        return String.format(
+                Locale.ROOT,
+                "%d instances, loss %.0f%%, local health %s, seed %d%n  joined after %d ms%n"
+                        + "  suspected wrongly %d times, held dead wrongly %d times%n  %d bytes a second each (at most %d), %.2f datagrams%n"
+                        + "  a claim of one held by all after %d ms%n  one killed: suspected after %d ms, dead after %d, known to all after %d%n",
+                instances,
+                loss * 100,
+                localHealth ? "on" : "off",
+                seed,
+                joinedMs,
+                falseSuspicions,
+                falseDeaths,
+                bytesPerS,
+                mostBytesPerS,
+                datagramsPerS,
+                claimMs,
+                suspectedMs,
+                deadMs,
+                allMs);
     }
 }
--- a/src/main/java/elderseam/gossip/trust/Door.java
+++ b/src/main/java/elderseam/gossip/trust/Door.java
@@ -28,15 +28,24 @@
  */
 public final class Door {
     private static final int SEAL = 64, LEAST = Packet.envelope("");
-    private static final int MAGIC = 0x45_53_01_00;   // "ES", version 1, kind in the last byte
+    private static final int MAGIC = 0x45_53_01_00; // "ES", version 1, kind in the last byte
     private static final byte DATA = 1, HELLO = 2;
     private static final int SOURCES = 1_024, WINDOW = 1_024;
     private static final double CHECKS = 50, ALL_CHECKS = 400, HELLOS = 2, ALL_HELLOS = 50;
 
     /** Why an envelope was dropped. */
     public enum Drop {
-        FORM("form"), OVERSIZED("oversized"), UNKNOWN("unknown"), ADDRESS("address"), KEY("key"), TOKEN("token"),
-        REPLAYED("replayed"), RATE("rate"), SEAL("seal"), BODY("body"), HELLO("hello");
+        FORM("form"),
+        OVERSIZED("oversized"),
+        UNKNOWN("unknown"),
+        ADDRESS("address"),
+        KEY("key"),
+        TOKEN("token"),
+        REPLAYED("replayed"),
+        RATE("rate"),
+        SEAL("seal"),
+        BODY("body"),
+        HELLO("hello");
 
         private final String wireName;
 
@@ -57,15 +66,15 @@
     }
 
     private static final class Peer {
-        long theirs, sent;                  // the token they handed out; the number of the last envelope to them
-        long helloAt;                       // the number of the last envelope that a hello answered
-        long handed, offered;               // the token that counts here, and the one that takes its place once used
+        long theirs, sent; // the token they handed out; the number of the last envelope to them
+        long helloAt; // the number of the last envelope that a hello answered
+        long handed, offered; // the token that counts here, and the one that takes its place once used
         long highest;
         final long[] seen = new long[WINDOW / 64];
         final Bucket checks, hellos;
 
         Peer(RandomGenerator random, long now) {
-            sent = random.nextLong() >>> 2;   // not to be guessed, nor met in another life
+            sent = random.nextLong() >>> 2; // not to be guessed, nor met in another life
             checks = new Bucket(CHECKS, 2 * CHECKS, now);
             hellos = new Bucket(HELLOS, HELLOS, now);
         }
@@ -113,7 +122,14 @@
     private byte[] envelope(byte kind, long token, long number, long wallMs, byte[] body) {
         byte[] name = self.getBytes(StandardCharsets.US_ASCII);
         ByteBuffer b = ByteBuffer.allocate(LEAST + name.length + body.length);
-        b.putInt(MAGIC | kind).put((byte) name.length).put(name).putInt(keys.key()).putLong(token).putLong(number).putLong(wallMs).put(body);
+        b.putInt(MAGIC | kind)
+                .put((byte) name.length)
+                .put(name)
+                .putInt(keys.key())
+                .putLong(token)
+                .putLong(number)
+                .putLong(wallMs)
+                .put(body);
         byte[] sealed = Arrays.copyOf(b.array(), b.position());
         b.put(keys.seal(sealed));
         return b.array();
@@ -154,12 +170,24 @@
             return drop(Drop.KEY, from);
         }
         Peer p = peer(name, now);
-        return bytes[3] == HELLO ? hello(p, name, key, bytes, length, b, from, now)
+        return bytes[3] == HELLO
+                ? hello(p, name, key, bytes, length, b, from, now)
                 : data(p, name, key, token, number, theirWall, bytes, length, b, from, wallMs, now);
     }
 
-    private Opened data(Peer p, String name, PublicKey key, long token, long number, long theirWall, byte[] bytes, int length, ByteBuffer b,
-                        InetAddress from, long wallMs, long now) {
+    private Opened data(
+            Peer p,
+            String name,
+            PublicKey key,
+            long token,
+            long number,
+            long theirWall,
+            byte[] bytes,
+            int length,
+            ByteBuffer b,
+            InetAddress from,
+            long wallMs,
+            long now) {
         boolean fresh = token != 0 && token == p.offered;
         if (token == 0 || token != p.handed && !fresh) {
             return greet(p, token, number, from, wallMs, now);
@@ -191,20 +219,27 @@
         while (p.offered == 0 || p.offered == p.handed) {
             p.offered = random.nextLong();
         }
-        ByteBuffer body = ByteBuffer.allocate(24).putLong(p.offered).putLong(token).putLong(number);
+        ByteBuffer body =
+                ByteBuffer.allocate(24).putLong(p.offered).putLong(token).putLong(number);
         return new Opened(null, null, 0, envelope(HELLO, 0, 0, wallMs, body.array()));
     }
 
     /** Only as the answer to an envelope of this life that had no newer one; a seed says its name so. */
-    private Opened hello(Peer p, String name, PublicKey key, byte[] bytes, int length, ByteBuffer b, InetAddress from, long now) {
+    private Opened hello(
+            Peer p, String name, PublicKey key, byte[] bytes, int length, ByteBuffer b, InetAddress from, long now) {
         if (length - b.position() != 24 + SEAL) {
             return drop(Drop.FORM, from);
         }
         long offered = b.getLong(), token = b.getLong(), number = b.getLong();
         Peer seed = peers.get("");
         boolean asked = token == p.theirs && number > p.helloAt && number <= p.sent && number > p.sent - WINDOW;
-        boolean asSeed = !asked && seed != null && token == 0 && number > seed.helloAt && number <= seed.sent && number > seed.sent - WINDOW;
-        if (!asked && !asSeed || offered == 0) {   // one of several that answer the same question, or one of old
+        boolean asSeed = !asked
+                && seed != null
+                && token == 0
+                && number > seed.helloAt
+                && number <= seed.sent
+                && number > seed.sent - WINDOW;
+        if (!asked && !asSeed || offered == 0) { // one of several that answer the same question, or one of old
             return drop(Drop.HELLO, from);
         }
         if (!genuine(p, key, bytes, length, from, now)) {
@@ -241,7 +276,9 @@
     }
 
     private static void see(Peer p, long number) {
-        for (long block = Math.max(p.highest / 64 + 1, number / 64 - p.seen.length + 1); block <= number / 64; block++) {
+        for (long block = Math.max(p.highest / 64 + 1, number / 64 - p.seen.length + 1);
+                block <= number / 64;
+                block++) {
             p.seen[(int) (block % p.seen.length)] = 0;
         }
         p.highest = Math.max(p.highest, number);
--- a/src/main/java/elderseam/gossip/trust/Ed25519.java
+++ b/src/main/java/elderseam/gossip/trust/Ed25519.java
@@ -33,7 +33,7 @@
             s.initVerify(key);
             s.update(bytes, 0, length);
             return s.verify(seal);
-        } catch (GeneralSecurityException e) {   // a seal that can't even be read, RFC 8032, 5.1.7
+        } catch (GeneralSecurityException e) { // a seal that can't even be read, RFC 8032, 5.1.7
             return false;
         }
     }
@@ -55,7 +55,9 @@
 
     static String text(PublicKey key) {
         byte[] der = key.getEncoded();
-        return Base64.getEncoder().withoutPadding().encodeToString(Arrays.copyOfRange(der, der.length - RAW, der.length));
+        return Base64.getEncoder()
+                .withoutPadding()
+                .encodeToString(Arrays.copyOfRange(der, der.length - RAW, der.length));
     }
 
     /** Four bytes by which a member's key is told from its other one; no proof of anything. */
--- a/src/main/java/elderseam/gossip/trust/Keyring.java
+++ b/src/main/java/elderseam/gossip/trust/Keyring.java
@@ -51,7 +51,7 @@
         }
         String host = address.substring(0, colon);
         host = host.startsWith("[") && host.endsWith("]") ? host.substring(1, host.length() - 1) : host;
-        if (!host.matches("[0-9a-fA-F.:]+")) {   // a name would be looked up
+        if (!host.matches("[0-9a-fA-F.:]+")) { // a name would be looked up
             return false;
         }
         try {
--- a/src/main/java/elderseam/gossip/trust/Roster.java
+++ b/src/main/java/elderseam/gossip/trust/Roster.java
@@ -95,7 +95,8 @@
         for (int i = 2; i < words.length; i++) {
             PublicKey key = Ed25519.read(words[i]);
             if (key == null) {
-                return words[0] + ": '" + words[i] + "' is no key, allowed: 32 bytes in base64, as `keys new` tells them";
+                return words[0] + ": '" + words[i]
+                        + "' is no key, allowed: 32 bytes in base64, as `keys new` tells them";
             }
             String other = keyOf.putIfAbsent(Ed25519.text(key), words[0]);
             if (other != null) {
@@ -106,7 +107,8 @@
         if (keys.size() == 2 && Ed25519.number(keys.get(0)) == Ed25519.number(keys.get(1))) {
             return words[0] + ": its two keys have one number, allowed: another key";
         }
-        return entries.putIfAbsent(words[0], new Entry(words[0], List.copyOf(ranges), List.copyOf(keys))) == null ? null
+        return entries.putIfAbsent(words[0], new Entry(words[0], List.copyOf(ranges), List.copyOf(keys))) == null
+                ? null
                 : words[0] + ": told already, allowed: once";
     }
 
@@ -127,7 +129,7 @@
                 return null;
             }
             IPAddress a = new IPAddressString(text).toAddress();
-            if (a == null || a.isPrefixed() && !a.isPrefixBlock()) {   // with host bits: most likely a slip
+            if (a == null || a.isPrefixed() && !a.isPrefixBlock()) { // with host bits: most likely a slip
                 return null;
             }
             return a;
--- a/src/main/java/elderseam/http/AnswerReader.java
+++ b/src/main/java/elderseam/http/AnswerReader.java
@@ -14,10 +14,23 @@
  */
 final class AnswerReader {
     private static final int MOST_HEAD = 16 << 10;
-    private static final Pattern FIRST = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?"), NAME = Pattern.compile("[!-~]+"),
-            LENGTH = Pattern.compile("[0-9]{1,18}"), SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");   // once: each answer meets them
-
-    enum State { LINE, HEADERS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, WHOLE, SPOILT }
+    private static final Pattern FIRST = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?"),
+            NAME = Pattern.compile("[!-~]+"),
+            LENGTH = Pattern.compile("[0-9]{1,18}"),
+            SIZE = Pattern.compile("[0-9a-fA-F]{1,7}"); // once: each answer meets them
+
+    enum State {
+        LINE,
+        HEADERS,
+        FIXED,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
+        TO_END,
+        WHOLE,
+        SPOILT
+    }
 
     private final int mostBody;
     private final StringBuilder line = new StringBuilder();
@@ -126,7 +139,8 @@
         if (colon < 1 || !NAME.matcher(text.substring(0, colon)).matches()) {
             return State.SPOILT;
         }
-        String name = text.substring(0, colon), value = text.substring(colon + 1).strip();
+        String name = text.substring(0, colon),
+                value = text.substring(colon + 1).strip();
         String before = headers.putIfAbsent(name, value);
         boolean length = name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
         return length && before != null ? State.SPOILT : State.HEADERS;
@@ -143,7 +157,8 @@
         }
         String length = headers.get("Content-Length"), encoding = headers.get("Transfer-Encoding");
         kept &= !"close".equalsIgnoreCase(headers.getOrDefault("Connection", ""));
-        if (length != null && (encoding != null || !LENGTH.matcher(length).matches() || Long.parseLong(length) > mostBody)) {
+        if (length != null
+                && (encoding != null || !LENGTH.matcher(length).matches() || Long.parseLong(length) > mostBody)) {
             return State.SPOILT;
         }
         if (encoding != null) {
--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/Connections.java
@@ -29,9 +29,9 @@
  * followed by what does not belong to it, closes its connection at once.
  */
 public final class Connections {
-    private static final long WHOLE_NS = 700 * Clock.MS;            // from the first byte of an answer to its last
+    private static final long WHOLE_NS = 700 * Clock.MS; // from the first byte of an answer to its last
     private static final long LOOK_NS = 100 * Clock.MS;
-    private static final long LISTEN_NS = 1_000 * Clock.MS;         // for the answer to a request given up
+    private static final long LISTEN_NS = 1_000 * Clock.MS; // for the answer to a request given up
     private static final int MOST_LISTENING = 32;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
@@ -77,7 +77,7 @@
             for (int n = read(); n != 0 && !closed; n = read()) {
                 if (givenUp != null) {
                     givenUp.cameLate(n, this);
-                } else if (current == null) {   // nothing was asked
+                } else if (current == null) { // nothing was asked
                     forget(this);
                     close();
                 } else if (current.came(n)) {
@@ -97,9 +97,9 @@
     private int most;
     private final int mostBody;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
-    final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>();   // no empty ones
-    private int open;                                                          // with those still connecting
-    private final ArrayDeque<Link> listening = new ArrayDeque<>();             // oldest first
+    final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>(); // no empty ones
+    private int open; // with those still connecting
+    private final ArrayDeque<Link> listening = new ArrayDeque<>(); // oldest first
     private boolean looking;
 
     /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once;
@@ -131,14 +131,21 @@
 
     /** Sends a request; {@code done} is told once, never from within this call. */
     public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
-        return send(host, call, connectBy, answerBy, () -> true, () -> { }, null, done);
+        return send(host, call, connectBy, answerBy, () -> true, () -> {}, null, done);
     }
 
     /** The same; {@code mayLeave} is asked before bytes leave, {@code written} is run once the last one has, and {@code late},
      *  where there is one, is told of an answer that came after the request was given up: for a second more its connection is
      *  listened to. */
-    public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, BooleanSupplier mayLeave,
-                        Runnable written, Consumer<Reply> late, Consumer<Reply> done) {
+    public Request send(
+            UpstreamHost host,
+            Call call,
+            long connectBy,
+            long answerBy,
+            BooleanSupplier mayLeave,
+            Runnable written,
+            Consumer<Reply> late,
+            Consumer<Reply> done) {
         Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, written, late, done);
         r.start();
         return r;
@@ -172,8 +179,10 @@
             listening.peekFirst().close();
             return true;
         }
-        UpstreamHost longest = idle.entrySet().stream().min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
-                .map(Map.Entry::getKey).orElse(null);
+        UpstreamHost longest = idle.entrySet().stream()
+                .min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
+                .map(Map.Entry::getKey)
+                .orElse(null);
         if (longest == null) {
             return false;
         }
@@ -195,7 +204,9 @@
                 looking = false;
                 long since = io.clock.now() - idleNs;
                 List<Link> due = new ArrayList<>();
-                idle.values().forEach(kept -> kept.stream().filter(l -> l.since <= since).forEach(due::add));
+                idle.values()
+                        .forEach(kept ->
+                                kept.stream().filter(l -> l.since <= since).forEach(due::add));
                 due.forEach(link -> {
                     forget(link);
                     link.close();
@@ -222,11 +233,18 @@
         private Link link;
         private IoFuture<StreamConnection> connecting;
         private XnioExecutor.Key timer;
-        private int armed;            // counts timers: one that was replaced may have come due, and wait its turn
+        private int armed; // counts timers: one that was replaced may have come due, and wait its turn
         private boolean answering, over;
 
-        private Request(UpstreamHost host, ByteBuffer bytes, long connectBy, long answerBy, BooleanSupplier mayLeave,
-                        Runnable written, Consumer<Reply> late, Consumer<Reply> done) {
+        private Request(
+                UpstreamHost host,
+                ByteBuffer bytes,
+                long connectBy,
+                long answerBy,
+                BooleanSupplier mayLeave,
+                Runnable written,
+                Consumer<Reply> late,
+                Consumer<Reply> done) {
             this.host = host;
             this.bytes = bytes;
             this.connectBy = connectBy;
@@ -256,20 +274,22 @@
             open++;
             expire(connectBy, Status.TIMED_OUT);
             connecting = io.thread.openStreamConnection(to, this::connected, OPTIONS);
-            connecting.addNotifier((future, none) -> {
-                if (future.getStatus() != IoFuture.Status.DONE) {
-                    io.run(() -> {
-                        open--;
-                        finish(Status.BROKEN);
-                    });
-                }
-            }, null);
+            connecting.addNotifier(
+                    (future, none) -> {
+                        if (future.getStatus() != IoFuture.Status.DONE) {
+                            io.run(() -> {
+                                open--;
+                                finish(Status.BROKEN);
+                            });
+                        }
+                    },
+                    null);
         }
 
         private void connected(StreamConnection channel) {
             Link fresh = new Link(channel, this);
             if (over) {
-                fresh.close();   // came up too late
+                fresh.close(); // came up too late
                 return;
             }
             link = fresh;
@@ -306,7 +326,7 @@
         private void write(ConduitStreamSinkChannel to) {
             try {
                 while (!over && bytes.hasRemaining()) {
-                    if (!mayLeave.getAsBoolean()) {   // cut off, it never runs
+                    if (!mayLeave.getAsBoolean()) { // cut off, it never runs
                         finish(Status.HELD);
                     } else if (to.write(bytes) == 0) {
                         to.setWriteListener(this::write);
@@ -329,7 +349,7 @@
             if (progress == Progress.NOT_CONNECTED) {
                 if (connecting != null) {
                     finish(Status.BROKEN);
-                } else {   // the kept connection had ended, and nothing was written yet
+                } else { // the kept connection had ended, and nothing was written yet
                     link.close();
                     link = null;
                     connect();
@@ -342,11 +362,15 @@
                 answer.read(buffer);
             }
             if (answer.whole()) {
-                boolean clean = n > 0 && !buffer.hasRemaining() && answer.kept() && progress == Progress.WRITTEN && link.quiet();
+                boolean clean = n > 0
+                        && !buffer.hasRemaining()
+                        && answer.kept()
+                        && progress == Progress.WRITTEN
+                        && link.quiet();
                 progress = Progress.ANSWERED;
                 finish(clean ? null : Status.ERROR);
             } else if (answer.spoilt()) {
-                finish(answering || n > 0 ? Status.ERROR : Status.BROKEN);   // an answer of sorts, or none
+                finish(answering || n > 0 ? Status.ERROR : Status.BROKEN); // an answer of sorts, or none
             } else if (!answering) {
                 answering = true;
                 expire(Math.min(answerBy, io.clock.now() + WHOLE_NS), Status.ERROR);
@@ -423,9 +447,10 @@
             } else if (connecting != null) {
                 connecting.cancel();
             }
-            done.accept(progress == Progress.ANSWERED
-                    ? new Reply(progress, null, answer.code(), answer.headers(), answer.body())
-                    : Reply.none(progress, failure, answer.code()));
+            done.accept(
+                    progress == Progress.ANSWERED
+                            ? new Reply(progress, null, answer.code(), answer.headers(), answer.body())
+                            : Reply.none(progress, failure, answer.code()));
         }
     }
 }
--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/Downstreams.java
@@ -29,18 +29,24 @@
  * and the client, which finds the end and no answer, asks anew.
  */
 final class Downstreams {
-    private static final long WHOLE_NS = 2_400 * Clock.MS;          // for a request to be there, from connecting
-    private static final long LARGE_NS = 3_000 * Clock.MS;          // and so much more for a long body
+    private static final long WHOLE_NS = 2_400 * Clock.MS; // for a request to be there, from connecting
+    private static final long LARGE_NS = 3_000 * Clock.MS; // and so much more for a long body
     private static final int LARGE = 64 << 10;
-    private static final long TAKEN_NS = 2_400 * Clock.MS;          // for an answer to be taken
-    private static final long KEPT_NS = 60_000 * Clock.MS;          // without a request
-    private static final long KEPT_SHORT_NS = 2_100 * Clock.MS;     // the same, once half the bound is reached
-    private static final long SILENT_NS = 1_000 * Clock.MS;         // idle ones go first while a new one is younger
+    private static final long TAKEN_NS = 2_400 * Clock.MS; // for an answer to be taken
+    private static final long KEPT_NS = 60_000 * Clock.MS; // without a request
+    private static final long KEPT_SHORT_NS = 2_100 * Clock.MS; // the same, once half the bound is reached
+    private static final long SILENT_NS = 1_000 * Clock.MS; // idle ones go first while a new one is younger
     private static final long LOOK_NS = 100 * Clock.MS;
-    private static final long ENDING_NS = 1_000 * Clock.MS;         // for the client to end its side, too
-    private static final int ENDING_BEYOND = 4;                     // that end may stand beside so many as there may be
-
-    private enum State { READING, ASKED, ANSWERED, IDLE, ENDING }
+    private static final long ENDING_NS = 1_000 * Clock.MS; // for the client to end its side, too
+    private static final int ENDING_BEYOND = 4; // that end may stand beside so many as there may be
+
+    private enum State {
+        READING,
+        ASKED,
+        ANSWERED,
+        IDLE,
+        ENDING
+    }
 
     /** One connection: what it does, since when, and until when it may. */
     final class Downstream {
@@ -55,7 +61,8 @@
             this.channel = channel;
             heads = new HeadCheck(channel.getSourceChannel().getConduit());
             channel.getSourceChannel().setConduit(heads);
-            channel.getSinkChannel().setConduit(new Answers(channel.getSinkChannel().getConduit()));
+            channel.getSinkChannel()
+                    .setConduit(new Answers(channel.getSinkChannel().getConduit()));
             since = io.clock.now();
             until = since + WHOLE_NS;
         }
@@ -163,7 +170,7 @@
 
         /** How readily it is given up for a new one; 4: not at all. */
         private int rank(long now) {
-            if (state == State.IDLE) {   // with a head begun its request is under way: Undertow bounds the time for it
+            if (state == State.IDLE) { // with a head begun its request is under way: Undertow bounds the time for it
                 return heads.begun() ? 3 : now - since > KEPT_SHORT_NS ? 1 : 2;
             }
             return state == State.READING ? now - since > SILENT_NS ? 0 : 3 : 4;
@@ -172,7 +179,7 @@
 
     private final Io io;
     private final int most, mostReading;
-    final Map<StreamConnection, Downstream> open = new LinkedHashMap<>();   // oldest first
+    final Map<StreamConnection, Downstream> open = new LinkedHashMap<>(); // oldest first
     private int unanswered, reading, ending;
     private boolean looking;
 
@@ -188,7 +195,10 @@
         return channel -> {
             boolean room = open.size() - ending < most || makeRoom();
             while (open.size() >= most + ENDING_BEYOND && ending > 0) {
-                open.values().stream().filter(d -> d.state == State.ENDING).findFirst().ifPresent(this::close);
+                open.values().stream()
+                        .filter(d -> d.state == State.ENDING)
+                        .findFirst()
+                        .ifPresent(this::close);
             }
             Downstream fresh = new Downstream(channel);
             open.put(channel, fresh);
@@ -226,7 +236,9 @@
     void closeIdle() {
         io.afterReading(() -> {
             long now = io.clock.now();
-            List<Downstream> resting = open.values().stream().filter(d -> d.rests() && (!d.first || now - d.since > SILENT_NS)).toList();
+            List<Downstream> resting = open.values().stream()
+                    .filter(d -> d.rests() && (!d.first || now - d.since > SILENT_NS))
+                    .toList();
             resting.forEach(this::end);
         });
     }
@@ -246,11 +258,13 @@
 
     private boolean makeRoom() {
         long now = io.clock.now();
-        Downstream given = open.values().stream().min(Comparator.comparingInt(d -> d.rank(now))).orElseThrow();
+        Downstream given = open.values().stream()
+                .min(Comparator.comparingInt(d -> d.rank(now)))
+                .orElseThrow();
         if (given.rank(now) > 3) {
             return false;
         }
-        if (given.first || given.heads.begun()) {   // its request may be under way
+        if (given.first || given.heads.begun()) { // its request may be under way
             refuse(given, 503);
         } else {
             end(given);
@@ -262,15 +276,16 @@
     void refuse(Downstream d, int code) {
         String again = code == 503 ? "Retry-After: 1\r\n" : "";
         byte[] answer = ("HTTP/1.1 " + code + " " + StatusCodes.getReason(code) + "\r\n" + again
-                + "Connection: close\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+                        + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
         d.ending();
         try {
-            d.channel.getSinkChannel().write(ByteBuffer.wrap(answer));   // one that was not answered yet takes it whole
+            d.channel.getSinkChannel().write(ByteBuffer.wrap(answer)); // one that was not answered yet takes it whole
         } catch (IOException e) {
-            close(d);   // gone already
+            close(d); // gone already
             return;
         }
-        d.channel.getSourceChannel().setConduit(d.heads);   // whatever reads a body there minds its bounds, and closes
+        d.channel.getSourceChannel().setConduit(d.heads); // whatever reads a body there minds its bounds, and closes
         ConnectionUtils.cleanClose(d.channel);
     }
 
@@ -282,7 +297,7 @@
 
     private void close(Downstream d) {
         IoUtils.safeClose(d.channel);
-        ended(d.channel);   // in case no listener told
+        ended(d.channel); // in case no listener told
     }
 
     private void ended(StreamConnection channel) {
@@ -302,15 +317,17 @@
                 List<Downstream> due = new ArrayList<>();
                 for (Downstream d : open.values()) {
                     boolean idle = d.state == State.IDLE;
-                    if (idle ? !d.heads.begun() && (now >= d.until || crowded && now - d.since > KEPT_SHORT_NS) : now >= d.until) {
-                        due.add(d);   // an idle one with a head half read has Undertow's time for it
+                    if (idle
+                            ? !d.heads.begun() && (now >= d.until || crowded && now - d.since > KEPT_SHORT_NS)
+                            : now >= d.until) {
+                        due.add(d); // an idle one with a head half read has Undertow's time for it
                     }
                 }
                 for (Downstream d : due) {
                     if (d.state == State.IDLE || d.state == State.READING) {
                         end(d);
                     } else {
-                        close(d);   // it takes no answer, or does not end its side: nothing can be waited for
+                        close(d); // it takes no answer, or does not end its side: nothing can be waited for
                     }
                 }
                 look();
--- a/src/main/java/elderseam/http/HeadCheck.java
+++ b/src/main/java/elderseam/http/HeadCheck.java
@@ -13,8 +13,9 @@
  * and then closes over the rest, which resets the connection, and the answer that is on its way goes with it.
  */
 final class HeadCheck extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private static final int MOST_DROPPED = 256 << 10;   // who sends more than that to a half-closed connection is not waited for
-    private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(16 << 10);   // of the one I/O thread
+    private static final int MOST_DROPPED =
+            256 << 10; // who sends more than that to a half-closed connection is not waited for
+    private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(16 << 10); // of the one I/O thread
     private boolean inHead, firstLine, named, bad, drops;
     private int length, dropped;
 
@@ -94,7 +95,7 @@
     private void look(char c) {
         if (c == '\n') {
             if (length == 0) {
-                inHead = firstLine;   // empty lines before a request are passed over
+                inHead = firstLine; // empty lines before a request are passed over
                 return;
             }
             bad |= !firstLine && !named;
--- a/src/main/java/elderseam/http/HeaderView.java
+++ b/src/main/java/elderseam/http/HeaderView.java
@@ -11,7 +11,7 @@
 /** The headers of a request as a map: names without regard to case, of each the first value. Looking one up allocates nothing. */
 public final class HeaderView extends AbstractMap<String, String> {
     private final HeaderMap headers;
-    private Map<String, String> all;   // once somebody goes through them
+    private Map<String, String> all; // once somebody goes through them
 
     public HeaderView(HeaderMap headers) {
         this.headers = headers;
@@ -38,7 +38,9 @@
         if (all == null) {
             all = new LinkedHashMap<>();
             for (HeaderValues h : headers) {
-                all.put(h.getHeaderName().toString().toLowerCase(Locale.ROOT), h.getFirst().strip());
+                all.put(
+                        h.getHeaderName().toString().toLowerCase(Locale.ROOT),
+                        h.getFirst().strip());
             }
         }
         return all.entrySet();
--- a/src/main/java/elderseam/http/Io.java
+++ b/src/main/java/elderseam/http/Io.java
@@ -34,18 +34,22 @@
     final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, CACHED);
     public final Clock clock;
     private final Lateness lateness;
-    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();   // bounded as the timers are: each is in here once
-    private final ArrayDeque<Runnable> reading = new ArrayDeque<>();    // waits for a pass over the sockets
+    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>(); // bounded as the timers are: each is in here once
+    private final ArrayDeque<Runnable> reading = new ArrayDeque<>(); // waits for a pass over the sockets
     private final ByteBuffer one = ByteBuffer.allocateDirect(16);
     private StreamSinkChannel marker;
     private boolean marked, catchingUp;
-    private LongConsumer away = ns -> { };
+    private LongConsumer away = ns -> {};
 
     public Io(Clock clock) throws IOException {
         this.clock = clock;
-        this.worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.WORKER_NAME, "elderseam").getMap());
+        this.worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.WORKER_NAME, "elderseam")
+                        .getMap());
         this.thread = worker.getIoThread();
         this.lateness = new Lateness(clock.now());
         ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
@@ -91,10 +95,13 @@
     }
 
     private void beatAgain(long due) {
-        thread.executeAfter(() -> {
-            late();
-            beatAgain(lateness.beat(clock.now()));
-        }, Math.max(0, due - clock.now()), TimeUnit.NANOSECONDS);
+        thread.executeAfter(
+                () -> {
+                    late();
+                    beatAgain(lateness.beat(clock.now()));
+                },
+                Math.max(0, due - clock.now()),
+                TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -147,11 +154,12 @@
         }
         marked = false;
         int waiting = reading.size();
-        thread.execute(() -> {   // the other sockets of this pass come first
-            for (int left = waiting; left > 0; left--) {
-                guarded(reading.poll());
-            }
-        });
+        thread.execute(
+                () -> { // the other sockets of this pass come first
+                    for (int left = waiting; left > 0; left--) {
+                        guarded(reading.poll());
+                    }
+                });
     }
 
     private void inTime(Runnable task) {
--- a/src/main/java/elderseam/http/Lean.java
+++ b/src/main/java/elderseam/http/Lean.java
@@ -20,7 +20,8 @@
      * that starts before.
      */
     public static void start() {
-        if (!manageable && System.getProperty("javax.management.builder.initial") == null
+        if (!manageable
+                && System.getProperty("javax.management.builder.initial") == null
                 && System.getProperty("com.sun.management.jmxremote") == null) {
             System.setProperty("javax.management.builder.initial", "none");
         }
@@ -33,7 +34,7 @@
 
     /** To be called before the start of an engine that does not begin without MBeans: what XNIO registers is spared by then. */
     public static void manageable() {
-        manageable = true;   // no later start in this process takes it back
+        manageable = true; // no later start in this process takes it back
         if ("none".equals(System.getProperty("javax.management.builder.initial"))) {
             System.clearProperty("javax.management.builder.initial");
         }
--- a/src/main/java/elderseam/http/RequestFacts.java
+++ b/src/main/java/elderseam/http/RequestFacts.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 
 /** What a request tells the operator's rules; {@code attributes} and {@code body} are those of its message. */
-public record RequestFacts(String front, Request request, Map<String, String> attributes, byte[] body) implements Facts {
+public record RequestFacts(String front, Request request, Map<String, String> attributes, byte[] body)
+        implements Facts {
     @Override
     public String method() {
         return request.method();
@@ -23,6 +24,8 @@
 
     @Override
     public String source() {
-        return request.source() == null || request.source().getAddress() == null ? "" : request.source().getAddress().getHostAddress();
+        return request.source() == null || request.source().getAddress() == null
+                ? ""
+                : request.source().getAddress().getHostAddress();
     }
 }
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/Server.java
@@ -6,8 +6,8 @@
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
@@ -32,7 +32,7 @@
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
 public final class Server {
-    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");   // once: a request meets it
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}"); // once: a request meets it
     /** A request, read to its end; the source is null where it is not known. */
     public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
         public Request(String method, String path, HeaderMap headers, byte[] body) {
@@ -56,15 +56,15 @@
     }
 
     private static final int MOST_HEADER = 16 << 10, HEAD_MS = 2_400;
-    private static final int ACCEPTING = 8;   // more that are accepted, and about to take the place of others
+    private static final int ACCEPTING = 8; // more that are accepted, and about to take the place of others
 
     private final HttpOpenListener listener;
     private final Io io;
-    private final ServerSocketChannel inherited;   // null: it binds its own
+    private final ServerSocketChannel inherited; // null: it binds its own
     private final ChannelListener<StreamConnection> opened;
     private final OptionMap options;
     private InetSocketAddress address;
-    private AcceptingChannel<? extends StreamConnection> accepting;   // null while it does not, or with an inherited one
+    private AcceptingChannel<? extends StreamConnection> accepting; // null while it does not, or with an inherited one
     private InheritedListener given;
     private final UndertowXnioSsl ssl;
     private final int mostBody;
@@ -73,34 +73,57 @@
     private boolean closing;
 
     /** Serves TLS where a context is given, else plain HTTP. */
-    public Server(Io io, InetSocketAddress address, int mostBody, int mostConnections, int mostReading, SSLContext context,
-                  Handler handler) throws IOException {
+    public Server(
+            Io io,
+            InetSocketAddress address,
+            int mostBody,
+            int mostConnections,
+            int mostReading,
+            SSLContext context,
+            Handler handler)
+            throws IOException {
         this(io, address, null, mostBody, mostConnections, mostReading, context, handler);
     }
 
     /** {@code inherited}: the socket that already listens there, or null. */
-    public Server(Io io, InetSocketAddress address, ServerSocketChannel inherited, int mostBody, int mostConnections, int mostReading,
-                  SSLContext context, Handler handler) throws IOException {
+    public Server(
+            Io io,
+            InetSocketAddress address,
+            ServerSocketChannel inherited,
+            int mostBody,
+            int mostConnections,
+            int mostReading,
+            SSLContext context,
+            Handler handler)
+            throws IOException {
         this.io = io;
         this.address = address;
         this.inherited = inherited;
         this.mostBody = mostBody;
         this.handler = handler;
         this.downstreams = new Downstreams(io, mostConnections, mostReading);
-        this.listener = new HttpOpenListener(io.buffers, OptionMap.builder()
-                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER)
-                .set(UndertowOptions.MAX_HEADERS, 64)
-                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) mostBody)
-                .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                .set(UndertowOptions.ENABLE_STATISTICS, false)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
-                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false).getMap());
-        listener.setRootHandler(new HttpContinueReadHandler(root()));   // clients may ask before a long body
-        this.options = OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.TCP_NODELAY, true)
-                .set(Options.BACKLOG, 256).set(Options.CONNECTION_HIGH_WATER, mostConnections + ACCEPTING)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections + ACCEPTING).getMap();
+        this.listener = new HttpOpenListener(
+                io.buffers,
+                OptionMap.builder()
+                        .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER)
+                        .set(UndertowOptions.MAX_HEADERS, 64)
+                        .set(UndertowOptions.MAX_ENTITY_SIZE, (long) mostBody)
+                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.ENABLE_STATISTICS, false)
+                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
+                        .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                        .getMap());
+        listener.setRootHandler(new HttpContinueReadHandler(root())); // clients may ask before a long body
+        this.options = OptionMap.builder()
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.BACKLOG, 256)
+                .set(Options.CONNECTION_HIGH_WATER, mostConnections + ACCEPTING)
+                .set(Options.CONNECTION_LOW_WATER, mostConnections + ACCEPTING)
+                .getMap();
         this.opened = downstreams.guarding(listener);
-        this.ssl = context == null ? null : new UndertowXnioSsl(io.worker.getXnio(), OptionMap.EMPTY, io.buffers, context);
+        this.ssl =
+                context == null ? null : new UndertowXnioSsl(io.worker.getXnio(), OptionMap.EMPTY, io.buffers, context);
         accept();
     }
 
@@ -111,8 +134,10 @@
             given.resume();
         } else if (accepting == null) {
             accepting = ssl == null
-                    ? io.worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(opened), options)
-                    : ssl.createSslConnectionServer(io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
+                    ? io.worker.createStreamConnectionServer(
+                            address, ChannelListeners.openListenerAdapter(opened), options)
+                    : ssl.createSslConnectionServer(
+                            io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
             address = accepting.getLocalAddress(InetSocketAddress.class);
             accepting.resumeAccepts();
         }
@@ -130,7 +155,7 @@
     private HttpHandler root() {
         return exchange -> {
             Downstreams.Downstream d = downstreams.of(channel(exchange));
-            if (d == null) {   // closed meanwhile
+            if (d == null) { // closed meanwhile
                 IoUtils.safeClose(exchange.getConnection());
                 return;
             }
@@ -152,11 +177,18 @@
                 refuse(exchange, 503);
             } else {
                 exchange.getRequestReceiver().setMaxBufferSize(mostBody);
-                exchange.getRequestReceiver().receiveFullBytes((x, body) -> {
-                    d.asked();
-                    x.dispatch(SameThreadExecutor.INSTANCE, () -> handle(x, body));
-                }, (x, e) -> refuse(x, e instanceof Receiver.RequestToLargeException
-                        || e instanceof RequestTooBigException ? 413 : 400));
+                exchange.getRequestReceiver()
+                        .receiveFullBytes(
+                                (x, body) -> {
+                                    d.asked();
+                                    x.dispatch(SameThreadExecutor.INSTANCE, () -> handle(x, body));
+                                },
+                                (x, e) -> refuse(
+                                        x,
+                                        e instanceof Receiver.RequestToLargeException
+                                                        || e instanceof RequestTooBigException
+                                                ? 413
+                                                : 400));
             }
         };
     }
@@ -169,8 +201,11 @@
     private static boolean framed(HeaderMap headers) {
         HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH), encodings = headers.get(Headers.TRANSFER_ENCODING);
         return lengths == null
-                ? encodings == null || encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked")
-                : encodings == null && lengths.size() == 1 && LENGTH.matcher(lengths.getFirst()).matches();
+                ? encodings == null
+                        || encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked")
+                : encodings == null
+                        && lengths.size() == 1
+                        && LENGTH.matcher(lengths.getFirst()).matches();
     }
 
     /** Whether more has come than the one request: its length was wrong, or a further one was sent before the answer. */
@@ -182,7 +217,7 @@
         try {
             return c.getOriginalSourceConduit().read(ByteBuffer.allocate(1)) > 0;
         } catch (IOException e) {
-            return false;   // gone, as the answer will find
+            return false; // gone, as the answer will find
         }
     }
 
@@ -204,10 +239,11 @@
             refuse(x, 400);
             return;
         }
-        Request r = new Request(x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body, x.getSourceAddress());
+        Request r = new Request(
+                x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body, x.getSourceAddress());
         try {
             handler.handle(r, (code, headers, text) -> answer(x, code, headers, text));
-        } catch (RuntimeException e) {   // one stream's fault must not reach another
+        } catch (RuntimeException e) { // one stream's fault must not reach another
             e.printStackTrace();
             if (!x.isResponseStarted()) {
                 answer(x, 500, Map.of(), "");
--- a/src/main/java/elderseam/http/UpstreamHost.java
+++ b/src/main/java/elderseam/http/UpstreamHost.java
@@ -8,8 +8,10 @@
     InetSocketAddress socket() {
         int colon = address.lastIndexOf(':');
         try {
-            return colon < 1 ? null
-                    : new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+            return colon < 1
+                    ? null
+                    : new InetSocketAddress(
+                            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/src/main/java/elderseam/lab/Chart.java
+++ b/src/main/java/elderseam/lab/Chart.java
@@ -27,7 +27,8 @@
     /** One line a name, a value a second; NaN is a gap. {@code most} may be NaN: as high as needed. */
     static String lines(Map<String, double[]> all, double least, double most, List<Band> bands) {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle("s").build();
+        XYChart chart =
+                new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle("s").build();
         chart.getStyler().setYAxisMin(least);
         if (!Double.isNaN(most)) {
             chart.getStyler().setYAxisMax(most);
@@ -53,9 +54,11 @@
         }
         try {
             return "<img alt=\"chart\" width=\"" + WIDTH + "\" src=\"data:image/png;base64,"
-                    + Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG)) + "\">";
+                    + Base64.getEncoder()
+                            .encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
+                    + "\">";
         } catch (IOException e) {
-            throw new UncheckedIOException(e);   // memory does not fail so
+            throw new UncheckedIOException(e); // memory does not fail so
         }
     }
 
@@ -63,10 +66,19 @@
     static String timeline(Map<Long, byte[]> all, List<Band> bands) {
         int seconds = all.values().iterator().next().length, height = all.size() * ROW + 20;
         double cell = (WIDTH - LEFT) / (double) Math.max(1, seconds);
-        StringBuilder svg = new StringBuilder(String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\" font-size=\"9\">", WIDTH, height));
+        StringBuilder svg = new StringBuilder(
+                String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\" font-size=\"9\">", WIDTH, height));
         for (Band b : bands) {
-            svg.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/><text x=\"%.1f\" y=\"%d\">%s</text>", LEFT + b.from * cell,
-                    Math.max(1, (Math.min(seconds, b.to) - b.from) * cell), height - 12, b.colour, LEFT + b.from * cell, height - 2, Report.text(b.what)));
+            svg.append(String.format(
+                    Locale.ROOT,
+                    "<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/><text x=\"%.1f\" y=\"%d\">%s</text>",
+                    LEFT + b.from * cell,
+                    Math.max(1, (Math.min(seconds, b.to) - b.from) * cell),
+                    height - 12,
+                    b.colour,
+                    LEFT + b.from * cell,
+                    height - 2,
+                    Report.text(b.what)));
         }
         int row = 0;
         for (Map.Entry<Long, byte[]> e : all.entrySet()) {
@@ -77,8 +89,14 @@
                     // as far as it goes
                 }
                 if (line[from] > 0) {
-                    svg.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>", LEFT + from * cell, row * ROW + 1, (to - from) * cell,
-                            ROW - 2, line[from] == 2 ? "#c00" : "#e8c000"));
+                    svg.append(String.format(
+                            Locale.ROOT,
+                            "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>",
+                            LEFT + from * cell,
+                            row * ROW + 1,
+                            (to - from) * cell,
+                            ROW - 2,
+                            line[from] == 2 ? "#c00" : "#e8c000"));
                 }
             }
             row++;
--- a/src/main/java/elderseam/lab/Compare.java
+++ b/src/main/java/elderseam/lab/Compare.java
@@ -14,7 +14,8 @@
 
     public static Compare of(double[] a, double[] b) {
         if (a.length != b.length || a.length == 0) {
-            throw new IllegalArgumentException(a.length + " and " + b.length + " runs, allowed: the same seeds on both sides, at least one");
+            throw new IllegalArgumentException(
+                    a.length + " and " + b.length + " runs, allowed: the same seeds on both sides, at least one");
         }
         double[] d = new double[a.length];
         for (int i = 0; i < d.length; i++) {
@@ -30,7 +31,8 @@
             means[n] = sum / d.length;
         }
         Arrays.sort(means);
-        return new Compare(d.length, mean(a), mean(b), mean(d), means[RESAMPLES / 40], means[RESAMPLES - 1 - RESAMPLES / 40]);
+        return new Compare(
+                d.length, mean(a), mean(b), mean(d), means[RESAMPLES / 40], means[RESAMPLES - 1 - RESAMPLES / 40]);
     }
 
     private static double mean(double[] x) {
@@ -42,7 +44,16 @@
     }
 
     public String words() {
-        return String.format(Locale.ROOT, "%12.5f %12.5f %+12.5f  [%+.5f, %+.5f]  %s", meanA, meanB, difference, low, high,
-                pairs < LEAST ? "noise (fewer than " + LEAST + " pairs)" : noise() ? "noise" : difference > 0 ? "more" : "less");
+        return String.format(
+                Locale.ROOT,
+                "%12.5f %12.5f %+12.5f  [%+.5f, %+.5f]  %s",
+                meanA,
+                meanB,
+                difference,
+                low,
+                high,
+                pairs < LEAST
+                        ? "noise (fewer than " + LEAST + " pairs)"
+                        : noise() ? "noise" : difference > 0 ? "more" : "less");
     }
 }
--- a/src/main/java/elderseam/lab/Find.java
+++ b/src/main/java/elderseam/lab/Find.java
@@ -40,7 +40,8 @@
     private int played;
 
     /** {@code base}: a scenario of fleet, kinds and clients, to which the days are added. */
-    public Find(String file, List<String> base, String policy, String against, long seed, Consumer<String> progress) throws SettingsFault {
+    public Find(String file, List<String> base, String policy, String against, long seed, Consumer<String> progress)
+            throws SettingsFault {
         this.base = base;
         this.plan = PlanFile.of(file, base, Map.of());
         this.policy = policy;
@@ -63,7 +64,8 @@
                 if (g > here) {
                     at = next;
                     here = g;
-                    progress.accept(String.format(Locale.ROOT, "day %d: gap %.4f with %d parts", played, here, at.size()));
+                    progress.accept(
+                            String.format(Locale.ROOT, "day %d: gap %.4f with %d parts", played, here, at.size()));
                 }
             }
             if (here > gap) {
@@ -135,14 +137,18 @@
         switch (kind) {
             case "trouble" -> {
                 v.put("for", value(1 + random.nextDouble() * plan.seconds() / 3));
-                v.put("kind", plan.kinds().get(random.nextInt(plan.kinds().size())).name());
+                v.put(
+                        "kind",
+                        plan.kinds().get(random.nextInt(plan.kinds().size())).name());
                 v.put("part", value(0.1 + 0.9 * random.nextDouble()));
                 v.put("fault", Plan.Fault.values()[random.nextInt(Plan.Fault.values().length)].wireName());
                 v.put("factor", value(2 + 30 * random.nextDouble()));
             }
             case "flood" -> {
                 v.put("for", value(1 + random.nextDouble() * plan.seconds() / 3));
-                v.put("tenant", Integer.toString(1 + random.nextInt(plan.clients().tenants())));
+                v.put(
+                        "tenant",
+                        Integer.toString(1 + random.nextInt(plan.clients().tenants())));
                 v.put("factor", value(1 + 9 * random.nextDouble()));
             }
             default -> {
@@ -164,7 +170,9 @@
     }
 
     private double service(List<Part> parts, String of) throws SettingsFault {
-        return Run.of(PlanFile.of("found", text(parts), Map.of()), of, seed, s -> { }).figures().get("service");
+        return Run.of(PlanFile.of("found", text(parts), Map.of()), of, seed, s -> {})
+                .figures()
+                .get("service");
     }
 
     private double gap(List<Part> parts) throws SettingsFault {
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/lab/Run.java
@@ -1,9 +1,9 @@
 package elderseam.lab;
 
-import elderseam.emulator.Policies;
 import elderseam.core.Json;
 import elderseam.emulator.Checkers;
 import elderseam.emulator.Plan;
+import elderseam.emulator.Policies;
 import elderseam.emulator.Tally;
 import elderseam.emulator.World;
 import elderseam.module.Sender;
@@ -21,8 +21,18 @@
  *
  * @param breakers of each destination that ever had a breaker open: by second 0 closed, 1 trying, 2 open, the worst of all dispatchers
  */
-public record Run(String policy, long seed, Map<String, Double> figures, Map<String, Integer> broken, String words, double[] series, int[] refusals, int[] calls, int[] failed,
-                  Map<Long, byte[]> breakers, Map<String, double[]> latencies) {
+public record Run(
+        String policy,
+        long seed,
+        Map<String, Double> figures,
+        Map<String, Integer> broken,
+        String words,
+        double[] series,
+        int[] refusals,
+        int[] calls,
+        int[] failed,
+        Map<Long, byte[]> breakers,
+        Map<String, double[]> latencies) {
     private static final long S = 1_000_000_000L;
     private static final int MOST_TIMELINES = 200;
     static final double[] PERCENTILES = {1, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99, 100};
@@ -57,12 +67,23 @@
             }
             latencies.put(Policies.CLASS_NAMES.get(c), at);
         }
-        return new Run(policy, seed, figures, broken, checkers.words(), cut(tally.series(), seconds), cut(tally.refusals(), seconds), cut(tally.callsASecond(), seconds),
-                cut(tally.failedASecond(), seconds), open, latencies);
+        return new Run(
+                policy,
+                seed,
+                figures,
+                broken,
+                checkers.words(),
+                cut(tally.series(), seconds),
+                cut(tally.refusals(), seconds),
+                cut(tally.callsASecond(), seconds),
+                cut(tally.failedASecond(), seconds),
+                open,
+                latencies);
     }
 
     private static void look(Map<Long, byte[]> lines, long d, Sender.Breaker b, int second, int seconds) {
-        byte state = (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
+        byte state =
+                (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
         if (state > 0) {
             byte[] line = lines.computeIfAbsent(d, x -> new byte[seconds]);
             line[second] = (byte) Math.max(line[second], state);
@@ -98,6 +119,8 @@
     }
 
     static String number(double v) {
-        return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.format(Locale.ROOT, "%.6f", v);
+        return v == Math.rint(v) && Math.abs(v) < 1e15
+                ? Long.toString((long) v)
+                : String.format(Locale.ROOT, "%.6f", v);
     }
 }
--- a/src/main/java/elderseam/lab/Sweep.java
+++ b/src/main/java/elderseam/lab/Sweep.java
@@ -68,9 +68,10 @@
     }
 
     /** Runs what is not there yet; {@code progress}: done and all. Returns how many ran now. */
-    public int run(List<Cell> cells, int threads, BiConsumer<Integer, Integer> progress) throws IOException, InterruptedException {
+    public int run(List<Cell> cells, int threads, BiConsumer<Integer, Integer> progress)
+            throws IOException, InterruptedException {
         for (Cell c : cells) {
-            PlanFile.of(file, lines, c.set);   // every plan of the grid is sound before any runs
+            PlanFile.of(file, lines, c.set); // every plan of the grid is sound before any runs
         }
         Files.createDirectories(folder);
         Path results = folder.resolve("runs.jsonl"), copy = folder.resolve("scenario");
@@ -89,7 +90,7 @@
             for (Cell c : left) {
                 all.add(pool.submit(() -> {
                     Plan plan = PlanFile.of(file, lines, c.set);
-                    String line = Run.of(plan, c.policy, c.seed, s -> { }).json(named(c)) + "\n";
+                    String line = Run.of(plan, c.policy, c.seed, s -> {}).json(named(c)) + "\n";
                     synchronized (this) {
                         Files.writeString(results, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
                         progress.accept(++done[0], cells.size());
--- a/src/main/java/elderseam/lab/Table.java
+++ b/src/main/java/elderseam/lab/Table.java
@@ -25,7 +25,8 @@
         public double number(String name) {
             String v = values.get(name);
             if (v == null) {
-                throw new IllegalArgumentException("no figure '" + name + "', allowed: " + String.join(", ", values.keySet()));
+                throw new IllegalArgumentException(
+                        "no figure '" + name + "', allowed: " + String.join(", ", values.keySet()));
             }
             return Double.parseDouble(v);
         }
@@ -45,10 +46,12 @@
                     throw new IOException("no object");
                 }
                 Map<String, String> values = new LinkedHashMap<>();
-                node.properties().forEach(e -> values.put(e.getKey(), e.getValue().asText()));
+                node.properties()
+                        .forEach(e -> values.put(e.getKey(), e.getValue().asText()));
                 all.add(new Row(values));
             } catch (IOException e) {
-                throw new IOException(file + ":" + n + ": no run: " + e.getMessage().lines().findFirst().orElse(""));
+                throw new IOException(file + ":" + n + ": no run: "
+                        + e.getMessage().lines().findFirst().orElse(""));
             }
         }
         return all;
@@ -57,9 +60,12 @@
     public static String csv(List<Row> rows) {
         Set<String> names = new LinkedHashSet<>();
         rows.forEach(r -> names.addAll(r.values.keySet()));
-        StringBuilder all = new StringBuilder(String.join(",", names.stream().map(Table::cell).toList())).append('\n');
+        StringBuilder all = new StringBuilder(
+                        String.join(",", names.stream().map(Table::cell).toList()))
+                .append('\n');
         for (Row r : rows) {
-            all.append(String.join(",", names.stream().map(n -> cell(r.text(n))).toList())).append('\n');
+            all.append(String.join(",", names.stream().map(n -> cell(r.text(n))).toList()))
+                    .append('\n');
         }
         return all.toString();
     }
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/module/Books.java
@@ -28,8 +28,8 @@
         boolean hopeless;
         boolean lost;
         boolean cut;
-        long unseen;                 // time since its start in which nobody looked for an answer
-        long idleNs;                 // how long its connection had idled before; 0: new or in use
+        long unseen; // time since its start in which nobody looked for an answer
+        long idleNs; // how long its connection had idled before; 0: new or in use
 
         Call(Brain.Circuit circuit, Target target, long start, long turn, long answeredBefore) {
             this.circuit = circuit;
@@ -40,7 +40,7 @@
         }
     }
 
-    private static final double PROMISE = 0.3, KEPT = 0.3;   // of the worth, of the time
+    private static final double PROMISE = 0.3, KEPT = 0.3; // of the worth, of the time
 
     /** A message taken and not finished, or finished with attempts still out. */
     static final class Held {
@@ -60,7 +60,7 @@
         long notBefore;
         Target last;
         double index;
-        long fresh;                  // the turn that decides first on it: before that its client knows nothing of it
+        long fresh; // the turn that decides first on it: before that its client knows nothing of it
 
         /** Whether it came in this turn and waits, and others do for the same destination. */
         boolean crowded(long turn) {
@@ -122,7 +122,9 @@
             String address = l.text(own == null ? "" : own.address);
             long dest = l.whole(own == null ? 0 : own.dest.id), kind = l.whole(own == null ? 0 : own.dest.kindNo);
             long zone = l.whole(own == null ? 0 : own.zone);
-            Target t = own != null ? own : add.apply(new Sender.Endpoint(address, dest, (int) kind, (int) zone, Sender.Listing.READY, 0));
+            Target t = own != null
+                    ? own
+                    : add.apply(new Sender.Endpoint(address, dest, (int) kind, (int) zone, Sender.Listing.READY, 0));
             t.carry(l);
             if (carried.add(t.circuit)) {
                 carry(t.circuit, l);
@@ -134,7 +136,8 @@
         c.state = Brain.State.values()[(int) l.whole(c.state.ordinal())];
         c.byHang = l.flag(c.byHang);
         long opens = l.time(c.openUntil), waits = l.time(c.waitUntil);
-        c.openUntil = opens > waits ? opens : l.ends(opens);   // asleep for a told wait alone, it wakes with the wait's end
+        c.openUntil =
+                opens > waits ? opens : l.ends(opens); // asleep for a told wait alone, it wakes with the wait's end
         c.waitUntil = l.ends(waits);
         c.lastGood = l.time(c.lastGood);
         c.goodStart = l.time(c.goodStart);
@@ -177,7 +180,7 @@
         long restUntil;
     }
 
-    private static final double MOST_GAP_NS = 1e9;   // between two calls to a cold endpoint
+    private static final double MOST_GAP_NS = 1e9; // between two calls to a cold endpoint
 
     /** A listed endpoint. */
     static final class Target {
@@ -186,18 +189,18 @@
         final Brain.Circuit circuit;
         final Destination dest;
         boolean ready;
-        boolean gone;                // no longer listed; forgotten once nothing is out there
-        double bias;                 // this sender's own liking for it
-        boolean outside;             // of its subset
+        boolean gone; // no longer listed; forgotten once nothing is out there
+        double bias; // this sender's own liking for it
+        boolean outside; // of its subset
         int out;
-        long usedAt = Long.MIN_VALUE / 2;   // last call ended
-        final int[] failures;        // by class of message
+        long usedAt = Long.MIN_VALUE / 2; // last call ended
+        final int[] failures; // by class of message
         final long[] restUntil;
         Call batch;
 
         private final long coldNs;
-        private boolean served;      // was listed before: one that first comes as draining has served, too
-        long coldFrom, nextCold;     // when it came back, and the next call there while it is cold
+        private boolean served; // was listed before: one that first comes as draining has served, too
+        long coldFrom, nextCold; // when it came back, and the next call there while it is cold
 
         Target(String address, int zone, Destination dest, Brain.Circuit circuit, Sender.Settings settings) {
             this.address = address;
@@ -268,7 +271,9 @@
 
         Tenants(Sender.Settings settings, long now) {
             this.settings = settings;
-            this.level = settings.tenantRates().stream().mapToDouble(rate -> 2 * rate / settings.senders()).toArray();
+            this.level = settings.tenantRates().stream()
+                    .mapToDouble(rate -> 2 * rate / settings.senders())
+                    .toArray();
             this.refilled = now;
         }
 
@@ -300,13 +305,13 @@
     static final class Destination {
         final long id;
         final RetryBudget retries = new RetryBudget();
-        Sender.Kind kind;            // as listed; while it is not, what the first kind says
+        Sender.Kind kind; // as listed; while it is not, what the first kind says
         int kindNo;
         final List<Target> targets = new ArrayList<>();
         final List<Brain.Circuit> circuits = new ArrayList<>();
         final List<Held> waiting = new ArrayList<>();
         boolean busy;
-        long bareFrom;               // when its last endpoint left
+        long bareFrom; // when its last endpoint left
 
         Destination(long id, Sender.Kind kind, long now) {
             this.id = id;
@@ -319,15 +324,20 @@
             int calls = 0, failed = 0, closed = 0, open = 0;
             long wait = 0;
             for (Brain.Circuit c : circuits) {
-                int[] seen = c.window.seen(now);   // without moving it: who looks must change nothing
+                int[] seen = c.window.seen(now); // without moving it: who looks must change nothing
                 calls += seen[0];
                 failed += seen[1];
                 wait = Math.max(wait, c.waitUntil - now);
                 closed += c.state == Brain.State.CLOSED ? 1 : 0;
                 open += c.state == Brain.State.OPEN && now < c.openUntil ? 1 : 0;
             }
-            return new Sender.Breaker(closed > 0 || circuits.isEmpty() ? Sender.Standing.CLOSED
-                    : open == circuits.size() ? Sender.Standing.OPEN : Sender.Standing.HALF_OPEN, calls, failed, wait);
+            return new Sender.Breaker(
+                    closed > 0 || circuits.isEmpty()
+                            ? Sender.Standing.CLOSED
+                            : open == circuits.size() ? Sender.Standing.OPEN : Sender.Standing.HALF_OPEN,
+                    calls,
+                    failed,
+                    wait);
         }
 
         Destination advised(double doubt, double trying) {
--- a/src/main/java/elderseam/module/RetryBudget.java
+++ b/src/main/java/elderseam/module/RetryBudget.java
@@ -7,7 +7,7 @@
  * again. Shares are 0 to 1, rates a second, times nanoseconds; not thread-safe.
  */
 final class RetryBudget {
-    private static final double MOST_S = 10, MOST_TRIES = 20;   // what may be saved up: of the rate, of first tries
+    private static final double MOST_S = 10, MOST_TRIES = 20; // what may be saved up: of the rate, of first tries
 
     private double level = 1;
     private long at = Long.MIN_VALUE;
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/platform/Config.java
@@ -14,31 +14,53 @@
 
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
  *  SIGHUP; {@code control}, the second address, may be null. Where both name discovery the file counts, since it may have been replaced. */
-public record Config(InetSocketAddress listen, InetSocketAddress control, String discovery, Path state, long seed, Limits limits,
-                     SettingsMap settings, Json known) {
+public record Config(
+        InetSocketAddress listen,
+        InetSocketAddress control,
+        String discovery,
+        Path state,
+        long seed,
+        Limits limits,
+        SettingsMap settings,
+        Json known) {
 
     public static Config read(Map<String, String> variables) throws IOException {
         Json json = Json.read(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
         if (!json.isObject()) {
             throw new IOException("the configuration is no JSON object");
         }
-        String discovery = json.at("discovery").told() ? json.at("discovery").text("") : told(variables, "RELAY_DISCOVERY");
-        address(discovery);   // an unusable one is named now
+        String discovery =
+                json.at("discovery").told() ? json.at("discovery").text("") : told(variables, "RELAY_DISCOVERY");
+        address(discovery); // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
         flatten("", json.at("settings"), paths);
         List<String> faults = SettingsCheck.faults(new SettingsMap(paths));
         if (!faults.isEmpty()) {
-            throw new IOException(faults.stream().map(f -> told(variables, "RELAY_CONFIG") + ": settings." + f).collect(Collectors.joining("\n")));
+            throw new IOException(faults.stream()
+                    .map(f -> told(variables, "RELAY_CONFIG") + ": settings." + f)
+                    .collect(Collectors.joining("\n")));
         }
-        paths.put("discovery", "ask");   // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
+        paths.put(
+                "discovery",
+                "ask"); // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
         long seed = Long.parseUnsignedLong(json.at("seed").text("1"), 16);
         Json told = json.at("limits");
-        Limits limits = new Limits((long) (told.at("disk_mb").real(3) * 1_000_000),
-                (int) told.at("sockets").whole(1_024), (int) told.at("memory_mb").whole(192));
-        String control = variables.getOrDefault("RELAY_CONTROL", "");   // a second process has its own, and may find the first one's file
+        Limits limits = new Limits(
+                (long) (told.at("disk_mb").real(3) * 1_000_000),
+                (int) told.at("sockets").whole(1_024),
+                (int) told.at("memory_mb").whole(192));
+        String control = variables.getOrDefault(
+                "RELAY_CONTROL", ""); // a second process has its own, and may find the first one's file
         control = control.isEmpty() ? json.at("control").text("") : control;
-        return new Config(address(told(variables, "RELAY_LISTEN")), control.isEmpty() ? null : address(control), discovery,
-                Path.of(told(variables, "RELAY_STATE")), seed, limits, new SettingsMap(paths), json.at("known"));
+        return new Config(
+                address(told(variables, "RELAY_LISTEN")),
+                control.isEmpty() ? null : address(control),
+                discovery,
+                Path.of(told(variables, "RELAY_STATE")),
+                seed,
+                limits,
+                new SettingsMap(paths),
+                json.at("known"));
     }
 
     private static String told(Map<String, String> variables, String name) {
@@ -60,7 +82,8 @@
     private static void flatten(String path, Json node, Map<String, String> into) {
         if (node.isObject()) {
             node.fields().forEach((name, field) -> flatten(path.isEmpty() ? name : path + "." + name, field, into));
-        } else if (node.isList() && (node.items().isEmpty() || !node.items().get(0).isObject())) {
+        } else if (node.isList()
+                && (node.items().isEmpty() || !node.items().get(0).isObject())) {
             StringBuilder list = new StringBuilder();
             node.items().forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.text("")));
             into.put(path, list.toString());
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/platform/Discovery.java
@@ -20,8 +20,9 @@
  * fails otherwise is told as such, and the module says when to ask again.
  */
 public final class Discovery {
-    private static final long WAIT_MS = 3_500;                      // a silent discovery shows after this
-    private static final long ANSWER_NS = 1_500 * Clock.MS;         // and so much more for the answer: a second is left to ask anew
+    private static final long WAIT_MS = 3_500; // a silent discovery shows after this
+    private static final long ANSWER_NS =
+            1_500 * Clock.MS; // and so much more for the answer: a second is left to ask anew
 
     private final Io io;
     private final Connections connections;
@@ -29,10 +30,10 @@
     private final Hosts hosts;
     private final Relay relay;
     private long version;
-    private boolean anew;              // a new place has not answered yet: its versions are not those of the old one
-    private boolean stopped;           // another process watches
-    private Connections.Request out;   // the one call under way, or none
-    private Runnable answered = () -> { };
+    private boolean anew; // a new place has not answered yet: its versions are not those of the old one
+    private boolean stopped; // another process watches
+    private Connections.Request out; // the one call under way, or none
+    private Runnable answered = () -> {};
 
     public Discovery(Io io, Connections connections, UpstreamHost address, Hosts hosts, Relay relay) {
         this.io = io;
@@ -122,12 +123,13 @@
 
     private void ask(String query, long by) {
         Connections.Request[] own = new Connections.Request[1];
-        own[0] = connections.send(address, Call.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
-            if (out == own[0]) {
-                out = null;
-                told(reply);
-            }
-        });
+        own[0] = connections.send(
+                address, Call.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
+                    if (out == own[0]) {
+                        out = null;
+                        told(reply);
+                    }
+                });
         out = own[0];
     }
 
@@ -139,7 +141,8 @@
                 anew = false;
                 watch();
                 boolean whole = list.at("full").flag();
-                relay.hosts(whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
+                relay.hosts(
+                        whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
                         hosts.decode(list.at("servers"), whole));
                 answered.run();
                 return;
@@ -148,7 +151,7 @@
             }
         }
         if (reply.failure() == Status.TIMED_OUT && reply.progress() == Progress.WRITTEN) {
-            connections.closeIdle(address);   // those may be as silent as this one was
+            connections.closeIdle(address); // those may be as silent as this one was
             watch();
             return;
         }
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/platform/Hosts.java
@@ -30,13 +30,18 @@
 
     /** The hosts of a destination, by their ids. */
     public List<String> of(long destination) {
-        return listed.values().stream().filter(l -> l.entry.destination() == destination).map(l -> l.host.id()).toList();
+        return listed.values().stream()
+                .filter(l -> l.entry.destination() == destination)
+                .map(l -> l.host.id())
+                .toList();
     }
 
     /** All that are listed, by destination. */
     public Map<Long, List<String>> all() {
         Map<Long, List<String>> all = new HashMap<>();
-        listed.values().forEach(l -> all.computeIfAbsent(l.entry.destination(), d -> new ArrayList<>()).add(l.host.id()));
+        listed.values()
+                .forEach(l -> all.computeIfAbsent(l.entry.destination(), d -> new ArrayList<>())
+                        .add(l.host.id()));
         return all;
     }
 
@@ -53,13 +58,24 @@
                 case "DELETED" -> Sender.Listing.GONE;
                 default -> Sender.Listing.DRAINING;
             };
-            Sender.Endpoint e = new Sender.Endpoint(id, s.at("cell").whole(0), Math.max(0, kinds.indexOf(s.at("kind").text(""))),
-                    Math.max(0, zones.indexOf(s.at("zone").text(""))), listing, s.at("weight").real(1));
+            Sender.Endpoint e = new Sender.Endpoint(
+                    id,
+                    s.at("cell").whole(0),
+                    Math.max(0, kinds.indexOf(s.at("kind").text(""))),
+                    Math.max(0, zones.indexOf(s.at("zone").text(""))),
+                    listing,
+                    s.at("weight").real(1));
             entries.add(e);
             if (listing == Sender.Listing.GONE) {
                 listed.remove(id);
-            } else {   // a change that tells no address leaves it as it was
-                listed.put(id, new Listed(s.at("addr").told() ? new UpstreamHost(id, s.at("addr").text("")) : host(id), e));
+            } else { // a change that tells no address leaves it as it was
+                listed.put(
+                        id,
+                        new Listed(
+                                s.at("addr").told()
+                                        ? new UpstreamHost(id, s.at("addr").text(""))
+                                        : host(id),
+                                e));
             }
         }
         return entries;
@@ -71,10 +87,21 @@
         String between = "";
         for (Listed l : listed.values()) {
             Sender.Endpoint e = l.entry;
-            text.append(between).append("{\"id\":").append(Json.quoted(e.address())).append(",\"addr\":").append(Json.quoted(l.host.address()))
-                    .append(",\"zone\":").append(Json.quoted(zones.get(e.zone()))).append(",\"kind\":").append(Json.quoted(kinds.get(e.kind())))
-                    .append(",\"cell\":").append(e.destination()).append(",\"state\":\"")
-                    .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING").append("\",\"weight\":").append(e.weight())
+            text.append(between)
+                    .append("{\"id\":")
+                    .append(Json.quoted(e.address()))
+                    .append(",\"addr\":")
+                    .append(Json.quoted(l.host.address()))
+                    .append(",\"zone\":")
+                    .append(Json.quoted(zones.get(e.zone())))
+                    .append(",\"kind\":")
+                    .append(Json.quoted(kinds.get(e.kind())))
+                    .append(",\"cell\":")
+                    .append(e.destination())
+                    .append(",\"state\":\"")
+                    .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING")
+                    .append("\",\"weight\":")
+                    .append(e.weight())
                     .append(",\"started_ms\":0}");
             between = ",";
         }
--- a/src/main/java/elderseam/platform/Limits.java
+++ b/src/main/java/elderseam/platform/Limits.java
@@ -5,7 +5,7 @@
  * platform clients need a third of all), upstream ones with what is left, and a few for the platform itself.
  */
 public record Limits(long diskBytes, int sockets, int memoryMb) {
-    private static final int OWN = 56, ACCEPTING = 12;               // own: 34 were counted, with one front
+    private static final int OWN = 56, ACCEPTING = 12; // own: 34 were counted, with one front
     public static final int PLATFORM = 6;
 
     /** Downstream connections, of all fronts. */
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/platform/Notices.java
@@ -21,7 +21,7 @@
  * first. Bounded as the messages held are: each is in here once.
  */
 final class Notices {
-    private static final int MOST = 200;                            // lines in one call
+    private static final int MOST = 200; // lines in one call
     private static final long ANSWER_NS = 800 * Clock.MS, AGAIN_NS = 100 * Clock.MS;
 
     /** One notice, and when its message's time is up. */
@@ -37,9 +37,9 @@
     private UpstreamHost address;
     private final Relay relay;
     private final Map<String, Line> owed = new HashMap<>();
-    private final TreeSet<Line> byDue = new TreeSet<>();   // the same, what is due soonest first
-    private boolean passedOn;          // another process tells them
-    private boolean out;               // a post is under way, or about to be
+    private final TreeSet<Line> byDue = new TreeSet<>(); // the same, what is due soonest first
+    private boolean passedOn; // another process tells them
+    private boolean out; // a post is under way, or about to be
     private Connections.Request request;
 
     Notices(Io io, Connections connections, UpstreamHost address, Relay relay) {
@@ -115,7 +115,7 @@
         Call post = new Call("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
         Connections.Request[] own = new Connections.Request[1];
         own[0] = connections.send(address, post, by, by, r -> {
-            if (request == own[0]) {   // told from a later task, as every answer is
+            if (request == own[0]) { // told from a later task, as every answer is
                 told(ids, r);
             }
         });
@@ -136,7 +136,7 @@
         } else if (out) {
             Connections.Request failed = request;
             io.at(io.clock.now() + AGAIN_NS, () -> {
-                if (request == failed) {   // else a move has posted already
+                if (request == failed) { // else a move has posted already
                     post();
                 }
             });
--- a/src/main/java/elderseam/platform/Passing.java
+++ b/src/main/java/elderseam/platform/Passing.java
@@ -21,9 +21,10 @@
  * there; its answer comes back. Bounded as the connections of clients are, which carry one request each.
  */
 public final class Passing {
-    private static final long ANSWER_NS = 2_000 * Clock.MS;         // a client waits 0.4 s
-    private static final int MOST = 32;                             // under way at once; descriptors are counted for both processes
-    private static final Set<String> OWN = Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
+    private static final long ANSWER_NS = 2_000 * Clock.MS; // a client waits 0.4 s
+    private static final int MOST = 32; // under way at once; descriptors are counted for both processes
+    private static final Set<String> OWN =
+            Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
 
     private record Waiting(Server.Request request, Server.Answerer to, long since) {}
 
@@ -91,7 +92,10 @@
     private static void answer(Reply reply, Server.Answerer to) {
         if (reply.answered()) {
             String again = reply.header("Retry-After");
-            to.answer(reply.code(), again.isEmpty() ? Map.of() : Map.of("Retry-After", again), new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
+            to.answer(
+                    reply.code(),
+                    again.isEmpty() ? Map.of() : Map.of("Retry-After", again),
+                    new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
         } else if (reply.progress() == Progress.NOT_CONNECTED || reply.progress() == Progress.PARTLY_WRITTEN) {
             to.answer(503, Map.of("Retry-After", "0.100"), "");
         }
@@ -101,7 +105,9 @@
     private Server.Request aged(Waiting w) {
         long left = PlatformFront.remaining(w.request.header("X-Remaining")), waited = io.clock.now() - w.since;
         if (left > 0 && waited > Clock.MS) {
-            w.request.headers().put(new io.undertow.util.HttpString("X-Remaining"), Math.max(0, left - waited) / 1_000 + "u");
+            w.request
+                    .headers()
+                    .put(new io.undertow.util.HttpString("X-Remaining"), Math.max(0, left - waited) / 1_000 + "u");
         }
         return w.request;
     }
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/platform/PlatformFront.java
@@ -21,8 +21,9 @@
 
 /** PROTOCOL's front: a message is answered at once, its end follows as a notice. */
 public final class PlatformFront implements Front {
-    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}"), DEST = Pattern.compile("dest=\\d{1,18}"),
-            REMAINING = Pattern.compile("\\d{1,12}[mu]");   // once: each message meets them
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}"),
+            DEST = Pattern.compile("dest=\\d{1,18}"),
+            REMAINING = Pattern.compile("\\d{1,12}[mu]"); // once: each message meets them
     public static final byte NUMBER = 0;
     public static final int MOST_BODY = 64 << 10;
 
@@ -34,11 +35,17 @@
     private final Notices notices;
     private final List<String> classes, tenants;
     private final Lifecycle life;
-    private Rulings rulings;   // null while there are none
+    private Rulings rulings; // null while there are none
 
     /** {@code rulings}: the operator's rules, or null. */
-    public PlatformFront(Io io, Connections connections, UpstreamHost platform, Relay relay, SettingsMap settings, Rulings rulings,
-                         Lifecycle life) {
+    public PlatformFront(
+            Io io,
+            Connections connections,
+            UpstreamHost platform,
+            Relay relay,
+            SettingsMap settings,
+            Rulings rulings,
+            Lifecycle life) {
         this.life = life;
         this.clock = io.clock;
         this.relay = relay;
@@ -64,16 +71,18 @@
             return;
         }
         Stream.Message message = (Stream.Message) read;
-        Answer answer = rulings == null ? relay.take(message)
-                : rulings.rule(message, new RequestFacts("platform", r, Map.of(), r.body())).take(relay);
+        Answer answer = rulings == null
+                ? relay.take(message)
+                : rulings.rule(message, new RequestFacts("platform", r, Map.of(), r.body()))
+                        .take(relay);
         if (answer == null) {
             to.answer(202, Map.of(), "");
             return;
         }
         switch (answer.kind()) {
             case DELIVERED, OVER -> to.answer(200, Map.of(), "");
-            case REFUSED -> to.answer(503, Map.of("Retry-After",
-                    String.format(Locale.ROOT, "%.3f", answer.againNs() / 1e9)), "");
+            case REFUSED ->
+                to.answer(503, Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", answer.againNs() / 1e9)), "");
             case FAILED -> to.answer(500, Map.of(), "");
         }
     }
@@ -108,9 +117,18 @@
             return new Fault(400, "bad Idempotency-Key");
         }
         long deadline = clock.now() + remaining;
-        return new Stream.Message(id, NUMBER, cls, tenants.indexOf(r.header("X-Org")),
-                Long.parseLong(dest.substring(5)), deadline, deadline, !r.header("X-Resent").isEmpty(),
-                true, key, r.body());
+        return new Stream.Message(
+                id,
+                NUMBER,
+                cls,
+                tenants.indexOf(r.header("X-Org")),
+                Long.parseLong(dest.substring(5)),
+                deadline,
+                deadline,
+                !r.header("X-Resent").isEmpty(),
+                true,
+                key,
+                r.body());
     }
 
     /** A time such as {@code 480m} (milliseconds) or {@code 480000u} (microseconds), or -1. */
--- a/src/main/java/elderseam/platform/PlatformUpstream.java
+++ b/src/main/java/elderseam/platform/PlatformUpstream.java
@@ -19,7 +19,7 @@
 
 /** A message as a call to an upstream host, and what its answer means. */
 public final class PlatformUpstream implements Upstream {
-    private static final double MOST_WAIT_MS = 600_000, MOST_LIMIT = 1e6;   // what is more is no sense
+    private static final double MOST_WAIT_MS = 600_000, MOST_LIMIT = 1e6; // what is more is no sense
 
     private final Io io;
     private final Connections connections;
@@ -41,8 +41,14 @@
             headers.put("Idempotency-Key", m.key());
         }
         headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
-        return connections.send(hosts.host(host), new Call("POST", "/receive", headers, m.body()), connectBy, answerBy,
-                attempt::mayLeave, attempt::written, r -> attempt.answeredLate(meaning(r, fields)),
+        return connections.send(
+                hosts.host(host),
+                new Call("POST", "/receive", headers, m.body()),
+                connectBy,
+                answerBy,
+                attempt::mayLeave,
+                attempt::written,
+                r -> attempt.answeredLate(meaning(r, fields)),
                 r -> attempt.ended(meaning(r, fields)))::abandon;
     }
 
@@ -54,7 +60,8 @@
     /** The meaning of an answer. Where it is spoilt, only a first line with 200 counts: it was delivered. */
     static End meaning(Reply r, List<String> fields) {
         if (!r.answered()) {
-            return r.code() == 200 ? new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
+            return r.code() == 200
+                    ? new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
                     : End.unanswered(r.progress(), r.failure());
         }
         Status status = switch (r.code()) {
@@ -73,7 +80,9 @@
 
     /** A field of a report such as {@code TEXT x0=0.4, x1=25}; 0 where it is not told. */
     private static double value(String pressure, List<String> fields, int index) {
-        if (pressure.startsWith("TEXT ") && index < fields.size() && !fields.get(index).isEmpty()) {
+        if (pressure.startsWith("TEXT ")
+                && index < fields.size()
+                && !fields.get(index).isEmpty()) {
             for (String pair : pressure.substring(5).split(",")) {
                 int eq = pair.indexOf('=');
                 if (eq > 0 && pair.substring(0, eq).strip().equals(fields.get(index))) {
--- a/src/main/java/elderseam/rules/Arrival.java
+++ b/src/main/java/elderseam/rules/Arrival.java
@@ -20,7 +20,7 @@
     private final Extent extent;
     private final List<String> classes, tenants;
     private final Bodies bodies;
-    private final int[] fields;      // of a name: its field's number
+    private final int[] fields; // of a name: its field's number
     private final Calendar calendar;
     private final Rates rates;
     private Object[] body;
@@ -89,11 +89,12 @@
             case Vocabulary.TENANT -> tenant < 0 ? "" : tenants.get(tenant);
             case Vocabulary.KEY -> key;
             case Vocabulary.EVENT -> facts.attributes();
-            case Vocabulary.BREAKER -> switch (state.breaker(destination)) {
-                case CLOSED -> "closed";
-                case HALF_OPEN -> "half_open";
-                case OPEN -> "open";
-            };
+            case Vocabulary.BREAKER ->
+                switch (state.breaker(destination)) {
+                    case CLOSED -> "closed";
+                    case HALF_OPEN -> "half_open";
+                    case OPEN -> "open";
+                };
             case Vocabulary.REMAINING -> Duration.ofNanos(remainingNs);
             case Vocabulary.WAIT -> Duration.ofNanos(state.waitNs(destination));
             case Vocabulary.NOW -> Instant.ofEpochMilli(wallMs);
@@ -117,7 +118,10 @@
             case Vocabulary.DESTINATION -> destination;
             case Vocabulary.IN_FLIGHT -> state.inFlight(destination);
             case Vocabulary.HELD -> state.held();
-            default -> name >= Vocabulary.YEAR && name <= Vocabulary.DAYS_LEFT ? calendar.part(name, wallMs) : super.whole(name);
+            default ->
+                name >= Vocabulary.YEAR && name <= Vocabulary.DAYS_LEFT
+                        ? calendar.part(name, wallMs)
+                        : super.whole(name);
         };
     }
 
--- a/src/main/java/elderseam/rules/Bodies.java
+++ b/src/main/java/elderseam/rules/Bodies.java
@@ -21,8 +21,10 @@
  * error for each of its fields. Whole numbers of 64 bits are ints, all others doubles.
  */
 final class Bodies {
-    private static final Err NOT_JSON = new Err("a body that is no JSON object"), TOO_LARGE = new Err("a body above body_bytes"),
-            TOO_LONG = new Err("a field above field_chars or list_items"), TOO_DEEP = new Err("a body nested above body_depth"),
+    private static final Err NOT_JSON = new Err("a body that is no JSON object"),
+            TOO_LARGE = new Err("a body above body_bytes"),
+            TOO_LONG = new Err("a field above field_chars or list_items"),
+            TOO_DEEP = new Err("a body nested above body_depth"),
             TWICE = new Err("a body that tells a name twice in one object");
 
     /** The names below one, and which field ends there. */
@@ -35,15 +37,21 @@
     private final JsonFactory json;
     private final Node root = new Node();
     private final Object[] values;
-    private int items;      // of the field that is read, in all its lists and maps
+    private int items; // of the field that is read, in all its lists and maps
 
     /** {@code fields}: the paths, whose place in the list is the number of the field. */
     Bodies(Extent extent, List<List<String>> fields) {
         this.extent = extent;
         this.values = new Object[fields.size()];
-        this.json = JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-                .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(extent.bodyDepth()).maxNumberLength(64)
-                        .maxStringLength(extent.bodyBytes()).maxNameLength(extent.bodyBytes()).build()).build();
+        this.json = JsonFactory.builder()
+                .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(extent.bodyDepth())
+                        .maxNumberLength(64)
+                        .maxStringLength(extent.bodyBytes())
+                        .maxNameLength(extent.bodyBytes())
+                        .build())
+                .build();
         for (int i = 0; i < fields.size(); i++) {
             Node n = root;
             for (String name : fields.get(i)) {
@@ -66,7 +74,9 @@
                 }
             }
         } catch (IOException e) {
-            fault = e instanceof com.fasterxml.jackson.core.exc.StreamConstraintsException && e.getMessage().contains("nesting") ? TOO_DEEP
+            fault = e instanceof com.fasterxml.jackson.core.exc.StreamConstraintsException
+                            && e.getMessage().contains("nesting")
+                    ? TOO_DEEP
                     : e.getMessage() != null && e.getMessage().startsWith("Duplicate field") ? TWICE : NOT_JSON;
         }
         if (fault != null) {
@@ -80,7 +90,7 @@
             Node below = node.below.get(p.currentName());
             p.nextToken();
             if (below == null) {
-                p.skipChildren();   // deep ones are counted as they pass by, never by recursion
+                p.skipChildren(); // deep ones are counted as they pass by, never by recursion
             } else if (below.field < 0) {
                 inside(p, below);
             } else {
@@ -118,7 +128,9 @@
                 return p.getTextLength() > extent.fieldChars() ? null : p.getText();
             }
             case VALUE_NUMBER_INT -> {
-                return p.getNumberType() == JsonParser.NumberType.BIG_INTEGER ? (Object) p.getDoubleValue() : (Object) p.getLongValue();
+                return p.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? (Object) p.getDoubleValue()
+                        : (Object) p.getLongValue();
             }
             case VALUE_NUMBER_FLOAT -> {
                 return p.getDoubleValue();
--- a/src/main/java/elderseam/rules/Buckets.java
+++ b/src/main/java/elderseam/rules/Buckets.java
@@ -10,12 +10,12 @@
  * gains nothing by handing in keys until its own is let go; while none can be let go, all further keys share one bucket.
  */
 final class Buckets {
-    private static final int LOOK = 8;   // eldest that are looked at for one to let go
+    private static final int LOOK = 8; // eldest that are looked at for one to let go
 
     final String name;
     private final long interval, tolerance;
     private final int most;
-    private final Map<String, long[]> empty = new LinkedHashMap<>(16, 0.75f, true);   // the longest unused first
+    private final Map<String, long[]> empty = new LinkedHashMap<>(16, 0.75f, true); // the longest unused first
     private final long[] shared = new long[1];
     private long crowded;
 
--- a/src/main/java/elderseam/rules/Decider.java
+++ b/src/main/java/elderseam/rules/Decider.java
@@ -30,7 +30,7 @@
     private final Consumer<String> log;
     private final Map<Scheme, Rulebook> earlier = new LinkedHashMap<>();
     private final Ruling ruling = new Ruling(false), scratch = new Ruling(false);
-    private Rulebook book;   // or null
+    private Rulebook book; // or null
 
     /**
      * @param deadlinesNs by class: for a message that is given another
@@ -54,11 +54,13 @@
         if (old != null && fresh != null) {
             fresh.inherit(old);
         }
-        if (old != null && old.scheme() != null && (fresh == null || !old.scheme().equals(fresh.scheme()))) {
+        if (old != null
+                && old.scheme() != null
+                && (fresh == null || !old.scheme().equals(fresh.scheme()))) {
             remember(old.scheme(), old);
         }
         if (fresh != null && fresh.scheme() != null) {
-            earlier.remove(fresh.scheme());   // back again
+            earlier.remove(fresh.scheme()); // back again
         }
     }
 
@@ -94,7 +96,9 @@
             book.arrived(m.tenant(), now);
             book.decide(m, facts, state, now, wallMs, ruling);
         }
-        String fault = ruling.cls < 0 ? "the type is no class of message, and no rule gives one" : ruling.destination < 0 ? "destination is missing, and no rule gives one" : "";
+        String fault = ruling.cls < 0
+                ? "the type is no class of message, and no rule gives one"
+                : ruling.destination < 0 ? "destination is missing, and no rule gives one" : "";
         return new Decided(fault.isEmpty() ? changed(m, !also.isEmpty(), now) : m, also, fault);
     }
 
@@ -102,19 +106,37 @@
         String same = ruling.key.isEmpty() ? "" : book.scheme().same(ruling.key);
         boolean other = ruling.cls != m.cls();
         long deadline = m.deadline();
-        if (other) {   // that of the class it came as may be longer
+        if (other) { // that of the class it came as may be longer
             deadline = Math.min(deadline, now + deadlinesNs.get(ruling.cls));
         }
         if (ruling.deadlineNs < deadline - now) {
             deadline = now + ruling.deadlineNs;
         }
-        if (same.isEmpty() && !other && ruling.tenant == m.tenant() && ruling.destination == m.destination() && deadline == m.deadline()) {
+        if (same.isEmpty()
+                && !other
+                && ruling.tenant == m.tenant()
+                && ruling.destination == m.destination()
+                && deadline == m.deadline()) {
             return m;
         }
-        long remember = same.isEmpty() ? m.rememberUntil() : Math.max(m.rememberUntil(), now + book.extent().rememberS() * 1_000L * Clock.MS);
-        // with a key, one that may have run is failed and not refused: its copy may come as a class that must not run twice
-        return new Stream.Message(m.id(), m.front(), ruling.cls, ruling.tenant, ruling.destination, deadline, remember, m.again(),
-                m.heedsWindow() && same.isEmpty(), m.key(), m.body(), same);
+        long remember = same.isEmpty()
+                ? m.rememberUntil()
+                : Math.max(m.rememberUntil(), now + book.extent().rememberS() * 1_000L * Clock.MS);
+        // with a key, one that may have run is failed and not refused: its copy may come as a class that must not run
+        // twice
+        return new Stream.Message(
+                m.id(),
+                m.front(),
+                ruling.cls,
+                ruling.tenant,
+                ruling.destination,
+                deadline,
+                remember,
+                m.again(),
+                m.heedsWindow() && same.isEmpty(),
+                m.key(),
+                m.body(),
+                same);
     }
 
     /** How long the message that was decided last had better stay away; 0: it is to be taken on, and its limits have counted it. */
--- a/src/main/java/elderseam/rules/Example.java
+++ b/src/main/java/elderseam/rules/Example.java
@@ -11,8 +11,23 @@
 
 /** A request and what it is to get, that stands beside the rules. */
 public final class Example {
-    private static final Map<String, String> EXPECTS = Map.of("expect_class", "class", "expect_tenant", "tenant", "expect_destination", "destination",
-            "expect_key", "key", "expect_deadline", "deadline", "expect_priority", "priority", "expect_refuse", "refuse", "expect_limits", "limits");
+    private static final Map<String, String> EXPECTS = Map.of(
+            "expect_class",
+            "class",
+            "expect_tenant",
+            "tenant",
+            "expect_destination",
+            "destination",
+            "expect_key",
+            "key",
+            "expect_deadline",
+            "deadline",
+            "expect_priority",
+            "priority",
+            "expect_refuse",
+            "refuse",
+            "expect_limits",
+            "limits");
     static final Set<String> KEYS;
 
     static {
@@ -31,14 +46,17 @@
 
     static Example of(Section s, List<String> faults) {
         List<String> own = new ArrayList<>();
-        List<String> headers = s.values().getOrDefault("header", List.of()).stream().map(Value::text).toList();
+        List<String> headers = s.values().getOrDefault("header", List.of()).stream()
+                .map(Value::text)
+                .toList();
         Sample sample = Sample.of(s.text("request", ""), headers, s.text("body", ""), own);
         sample.state(s.text("state", ""), own);
         if (s.has("at")) {
             sample.at(s.text("at", ""), own);
         }
         if (s.values().keySet().stream().noneMatch(EXPECTS::containsKey)) {
-            own.add("expects nothing, allowed: at least one of " + String.join(", ", EXPECTS.keySet().stream().sorted().toList()));
+            own.add("expects nothing, allowed: at least one of "
+                    + String.join(", ", EXPECTS.keySet().stream().sorted().toList()));
         }
         own.forEach(f -> faults.add(s.place() + f));
         return new Example(s, sample);
@@ -56,8 +74,8 @@
         List<String> failed = new ArrayList<>();
         EXPECTS.forEach((key, what) -> {
             if (section.has(key) && !section.text(key, "").equals(got.get(what))) {
-                failed.add(section.place(section.value(key), key) + "expected " + section.text(key, "") + ", got " + got.get(what) + " ("
-                        + String.join("; ", r.trace) + ")");
+                failed.add(section.place(section.value(key), key) + "expected " + section.text(key, "") + ", got "
+                        + got.get(what) + " (" + String.join("; ", r.trace) + ")");
             }
         });
         return failed;
@@ -73,7 +91,15 @@
         all.put("deadline", r.deadlineNs == Long.MAX_VALUE ? "none" : seconds(r.deadlineNs));
         all.put("priority", Integer.toString(r.priority));
         all.put("refuse", r.refuseNs < 0 ? "none" : seconds(r.refuseNs));
-        all.put("limits", r.charges.isEmpty() ? "none" : String.join(" ", r.charges.stream().map(c -> c.limit().name + "(" + c.key() + ")").toList()));
+        all.put(
+                "limits",
+                r.charges.isEmpty()
+                        ? "none"
+                        : String.join(
+                                " ",
+                                r.charges.stream()
+                                        .map(c -> c.limit().name + "(" + c.key() + ")")
+                                        .toList()));
         return all;
     }
 
--- a/src/main/java/elderseam/rules/Loader.java
+++ b/src/main/java/elderseam/rules/Loader.java
@@ -23,11 +23,19 @@
     /** What a reading came to. {@code warnings}: what is allowed and most likely not meant. */
     public record Loaded(Rulebook book, List<Example> examples, List<String> warnings, long bound) {}
 
-    private static final Map<String, Set<String>> KEYS = Map.of("table", Set.of("match", "on_error"),
-            "rule", Set.of("when", "class", "tenant", "destination", "route", "key", "deadline", "priority", "refuse", "limit"),
-            "limit", Set.of("per", "rate_per_s", "burst", "keys"),
-            "route", Set.of("to", "by", "fallback", "header", "canary", "canary_steps", "canary_every", "canary_from"),
-            "example", Example.KEYS, "scheme", Set.of("zone", "body_bytes", "body_depth", "field_chars", "list_items"));
+    private static final Map<String, Set<String>> KEYS = Map.of(
+            "table",
+            Set.of("match", "on_error"),
+            "rule",
+            Set.of("when", "class", "tenant", "destination", "route", "key", "deadline", "priority", "refuse", "limit"),
+            "limit",
+            Set.of("per", "rate_per_s", "burst", "keys"),
+            "route",
+            Set.of("to", "by", "fallback", "header", "canary", "canary_steps", "canary_every", "canary_from"),
+            "example",
+            Example.KEYS,
+            "scheme",
+            Set.of("zone", "body_bytes", "body_depth", "field_chars", "list_items"));
     private static final List<String> KINDS = List.of("table", "rule", "route", "limit", "example");
     private static final int MOST_FAULTS = 200;
 
@@ -72,12 +80,20 @@
     /** What a scheme's text says, for its keys alone; names that are gone since do no harm. */
     public static Rulebook scheme(Scheme s, Names names) throws IOException {
         List<String> faults = new ArrayList<>();
-        List<Section> sections = Sections.read("scheme " + s.name(), s.text().lines().toList(), List.of("table", "rule", "route", "scheme"), faults);
+        List<Section> sections = Sections.read(
+                "scheme " + s.name(), s.text().lines().toList(), List.of("table", "rule", "route", "scheme"), faults);
         Section head = sections.get(0);
         Extent usual = Extent.USUAL;
-        Extent e = new Extent(java.time.ZoneId.of(head.text("zone", "UTC")), Integer.parseInt(head.text("body_bytes", "0")),
-                Integer.parseInt(head.text("body_depth", "0")), Integer.parseInt(head.text("field_chars", "0")), Integer.parseInt(head.text("list_items", "0")),
-                Long.MAX_VALUE >> 20, Long.MAX_VALUE >> 20, usual.windowS(), usual.rememberS());
+        Extent e = new Extent(
+                java.time.ZoneId.of(head.text("zone", "UTC")),
+                Integer.parseInt(head.text("body_bytes", "0")),
+                Integer.parseInt(head.text("body_depth", "0")),
+                Integer.parseInt(head.text("field_chars", "0")),
+                Integer.parseInt(head.text("list_items", "0")),
+                Long.MAX_VALUE >> 20,
+                Long.MAX_VALUE >> 20,
+                usual.windowS(),
+                usual.rememberS());
         return new Loader(e, names.open(), true).load(sections.subList(1, sections.size())).book;
     }
 
@@ -87,7 +103,9 @@
         if (c.expression() == null) {
             throw new SettingsFault(c.faults().stream().map(Fault::shown).toList());
         }
-        return String.format(java.util.Locale.ROOT, "%-56s %-24s %s%n", "part", "type", "most units") + c.expression().explained() + "gives " + c.expression().type() + ", at most " + c.expression().bound() + " of " + extent.budget() + " units";
+        return String.format(java.util.Locale.ROOT, "%-56s %-24s %s%n", "part", "type", "most units")
+                + c.expression().explained() + "gives " + c.expression().type() + ", at most "
+                + c.expression().bound() + " of " + extent.budget() + " units";
     }
 
     private Loaded load(List<Section> sections) throws IOException {
@@ -101,8 +119,11 @@
         for (Section s : sections) {
             if (s.kind().equals("table")) {
                 rules = new ArrayList<>();
-                tables.add(new Table(s.name(), !word(s, "match", "first", Set.of("first", "all")).equals("all"),
-                        word(s, "on_error", "skip", Set.of("skip", "refuse")).equals("refuse"), rules));
+                tables.add(new Table(
+                        s.name(),
+                        !word(s, "match", "first", Set.of("first", "all")).equals("all"),
+                        word(s, "on_error", "skip", Set.of("skip", "refuse")).equals("refuse"),
+                        rules));
             } else if (s.kind().equals("rule")) {
                 rules.add(rule(s));
                 keyed |= s.has("key");
@@ -110,19 +131,28 @@
         }
         tables.removeIf(t -> t.rules.isEmpty());
         if (bound > extent.requestBudget()) {
-            faults.add("rules: all of them may cost " + bound + " units for one request, allowed: " + extent.requestBudget() + " (rules.request_budget)");
+            faults.add("rules: all of them may cost " + bound + " units for one request, allowed: "
+                    + extent.requestBudget() + " (rules.request_budget)");
         }
         Scheme own = keyed ? Scheme.of(SchemeText.of(sections, extent)) : null;
         if (own != null && own.text().length() > Scheme.MOST_TEXT) {
-            faults.add("rules: what its keys stand on is " + own.text().length() + " characters, allowed: " + Scheme.MOST_TEXT);
+            faults.add("rules: what its keys stand on is " + own.text().length() + " characters, allowed: "
+                    + Scheme.MOST_TEXT);
         }
-        List<Example> examples = sections.stream().filter(s -> s.kind().equals("example")).map(s -> Example.of(s, faults)).toList();
+        List<Example> examples = sections.stream()
+                .filter(s -> s.kind().equals("example"))
+                .map(s -> Example.of(s, faults))
+                .toList();
         if (!faults.isEmpty()) {
             throw new SettingsFault(faults.subList(0, Math.min(faults.size(), MOST_FAULTS)));
         }
         Rates rates = new Rates(names.told() ? names.tenants().size() : 1_000, extent.windowS());
         Arrival arrival = new Arrival(extent, scope, names.classes(), names.tenants(), rates);
-        return new Loaded(new Rulebook(extent, names.classes(), names.tenants(), tables, limits, arrival, rates, own), examples, warnings, bound);
+        return new Loaded(
+                new Rulebook(extent, names.classes(), names.tenants(), tables, limits, arrival, rates, own),
+                examples,
+                warnings,
+                bound);
     }
 
     private void known(Section s) {
@@ -131,10 +161,12 @@
             boolean subset = s.kind().equals("route") && key.matches("subset_[a-z0-9_]+");
             boolean again = s.kind().equals("example") && key.equals("header");
             if (!s.kind().equals("unknown") && !allowed.contains(key) && !subset) {
-                faults.add(s.place(values.get(0), key) + "unknown key, allowed: " + String.join(", ", allowed.stream().sorted().toList())
+                faults.add(s.place(values.get(0), key) + "unknown key, allowed: "
+                        + String.join(", ", allowed.stream().sorted().toList())
                         + (s.kind().equals("route") ? ", subset_NAME" : ""));
             } else if (values.size() > 1 && !again) {
-                faults.add(s.place(values.get(1), key) + "told at line " + values.get(0).line() + " already, allowed: once");
+                faults.add(s.place(values.get(1), key) + "told at line "
+                        + values.get(0).line() + " already, allowed: once");
             }
         });
     }
@@ -142,7 +174,8 @@
     private String word(Section s, String key, String absent, Set<String> allowed) {
         String text = s.text(key, absent);
         if (!allowed.contains(text)) {
-            faults.add(s.place(s.value(key), key) + "'" + text + "' can't be used, allowed: " + String.join(" or ", allowed.stream().sorted().toList()));
+            faults.add(s.place(s.value(key), key) + "'" + text + "' can't be used, allowed: "
+                    + String.join(" or ", allowed.stream().sorted().toList()));
         }
         return text;
     }
@@ -151,8 +184,10 @@
         String text = s.text(key, "");
         double v = text.matches("\\d{1,9}(\\.\\d{1,9})?") ? Double.parseDouble(text) : -1;
         if (s.has(key) ? v < least || v > most : Double.isNaN(absent)) {
-            faults.add((s.has(key) ? s.place(s.value(key), key) + "'" + text + "' can't be used" : s.place() + key + " is missing") + ", allowed: "
-                    + least + " to " + most);
+            faults.add((s.has(key)
+                            ? s.place(s.value(key), key) + "'" + text + "' can't be used"
+                            : s.place() + key + " is missing")
+                    + ", allowed: " + least + " to " + most);
             return least;
         }
         return s.has(key) ? v : absent;
@@ -170,8 +205,8 @@
         for (Fault f : c.faults()) {
             int line = v.line() + f.line() - 1, column = f.line() == 1 ? v.column() + f.column() - 1 : f.column();
             String[] shown = f.shown().split("\n", 2);
-            faults.add(s.file() + ":" + line + ":" + column + ": " + s.kind() + "." + s.name() + "." + key + ": " + f.words()
-                    + (shown.length > 1 ? "\n" + shown[1] : ""));
+            faults.add(s.file() + ":" + line + ":" + column + ": " + s.kind() + "." + s.name() + "." + key + ": "
+                    + f.words() + (shown.length > 1 ? "\n" + shown[1] : ""));
         }
         if (c.expression() == null) {
             return null;
@@ -197,17 +232,25 @@
         Expression key = expression(s, "key", Type.Plain.STRING);
         if (key != null) {
             r.key = key.program();
-            key.names().stream().filter(Vocabulary::passing).findFirst().ifPresent(n -> faults.add(s.place(s.value("key"), "key") + "'" + n
-                    + "' is another for each copy of a message, allowed: what both copies have in common"));
+            key.names().stream()
+                    .filter(Vocabulary::passing)
+                    .findFirst()
+                    .ifPresent(n -> faults.add(s.place(s.value("key"), "key") + "'" + n
+                            + "' is another for each copy of a message, allowed: what both copies have in common"));
             if (when != null) {
-                when.names().stream().filter(Vocabulary::passing).findFirst().ifPresent(n -> warnings.add(s.place(s.value("when"), "when") + "'" + n
-                        + "' may be another for a second copy, which then has no key, or another"));
+                when.names().stream()
+                        .filter(Vocabulary::passing)
+                        .findFirst()
+                        .ifPresent(n -> warnings.add(s.place(s.value("when"), "when") + "'" + n
+                                + "' may be another for a second copy, which then has no key, or another"));
             }
         }
         routed(s, r);
         limited(s, r);
         if (!scheme && s.values().keySet().stream().allMatch(k -> k.equals("when"))) {
-            faults.add(s.place() + "yields nothing, allowed: at least one of class, tenant, destination, route, key, deadline, priority, refuse, limit");
+            faults.add(
+                    s.place()
+                            + "yields nothing, allowed: at least one of class, tenant, destination, route, key, deadline, priority, refuse, limit");
         }
         return r;
     }
@@ -224,7 +267,8 @@
         }
         for (Object o : all == null ? List.of() : all) {
             if ((constant ? names.cls((String) o) : names.tenant((String) o)) < 0) {
-                faults.add(s.place(s.value(key), key) + "'" + o + "' is no " + key + ", allowed: " + String.join(", ", constant ? names.classes() : names.tenants()));
+                faults.add(s.place(s.value(key), key) + "'" + o + "' is no " + key + ", allowed: "
+                        + String.join(", ", constant ? names.classes() : names.tenants()));
             }
         }
         return e.program();
@@ -235,7 +279,8 @@
         List<Object> all = e == null ? null : e.outcomes();
         for (Object o : all == null ? List.of() : all) {
             if (!Rulebook.destination((Long) o)) {
-                faults.add(s.place(s.value("destination"), "destination") + o + " is no destination, allowed: 0 to 999999999999999998");
+                faults.add(s.place(s.value("destination"), "destination") + o
+                        + " is no destination, allowed: 0 to 999999999999999998");
             }
         }
         if (e != null && s.has("route")) {
@@ -253,7 +298,8 @@
         r.subset = parts.length > 1 ? parts[1] : "";
         r.routeBy = routesBy.get(parts[0]);
         if (r.route == null) {
-            faults.add(s.place(s.value("route"), "route") + "no route '" + parts[0] + "', allowed: " + (routes.isEmpty() ? "one of a [route NAME]" : String.join(", ", routes.keySet())));
+            faults.add(s.place(s.value("route"), "route") + "no route '" + parts[0] + "', allowed: "
+                    + (routes.isEmpty() ? "one of a [route NAME]" : String.join(", ", routes.keySet())));
         } else if (!r.route.has(r.subset)) {
             faults.add(s.place(s.value("route"), "route") + "route " + parts[0] + " has no subset '" + r.subset + "'");
         }
@@ -275,7 +321,11 @@
     private void limit(Section s) {
         double rate = number(s, "rate_per_s", 0.0001, 100_000, Double.NaN);
         int burst = (int) number(s, "burst", 1, 1_000_000, 1), keys = (int) number(s, "keys", 1, 100_000, 10_000);
-        Program per = s.has("per") ? program(s, "per", Type.Plain.STRING) : Expression.compile("''", scope, Type.Plain.STRING, 10).expression().program();
+        Program per = s.has("per")
+                ? program(s, "per", Type.Plain.STRING)
+                : Expression.compile("''", scope, Type.Plain.STRING, 10)
+                        .expression()
+                        .program();
         limits.put(s.name(), new Buckets(s.name(), Math.max(0.0001, rate), Math.max(1, burst), keys));
         limitsPer.put(s.name(), per);
     }
@@ -285,9 +335,11 @@
         for (String w : s.text("to", "").split("[ \n]+")) {
             if (w.matches("\\d{1,18}(\\*\\d{1,6}(\\.\\d{1,3})?)?") && !w.endsWith("*0")) {
                 String[] part = w.split("\\*");
-                members.add(new Route.Member(Long.parseLong(part[0]), part.length > 1 ? Double.parseDouble(part[1]) : 1));
+                members.add(
+                        new Route.Member(Long.parseLong(part[0]), part.length > 1 ? Double.parseDouble(part[1]) : 1));
             } else {
-                faults.add((s.has("to") ? s.place(s.value("to"), "to") : s.place()) + "'" + w + "' is no member, allowed: DESTINATION or DESTINATION*WEIGHT, apart by spaces");
+                faults.add((s.has("to") ? s.place(s.value("to"), "to") : s.place()) + "'" + w
+                        + "' is no member, allowed: DESTINATION or DESTINATION*WEIGHT, apart by spaces");
             }
         }
         if (members.stream().map(Route.Member::destination).distinct().count() < members.size()) {
@@ -307,18 +359,24 @@
         if (!header.matches("[a-z0-9-]*")) {
             faults.add(s.place(s.value("header"), "header") + "'" + header + "' is no name of a header");
         }
-        Program by = s.has("by") ? program(s, "by", Type.Plain.STRING) : Expression.compile("message.id", scope, Type.Plain.STRING, 1_000).expression().program();
+        Program by = s.has("by")
+                ? program(s, "by", Type.Plain.STRING)
+                : Expression.compile("message.id", scope, Type.Plain.STRING, 1_000)
+                        .expression()
+                        .program();
         routes.put(s.name(), new Route(s.name(), members, subsets, destinations(s, "fallback"), canary(s), header));
         routesBy.put(s.name(), by);
     }
 
     private List<Long> destinations(Section s, String key) {
         List<Long> all = new ArrayList<>();
-        for (String w : s.text(key, "").isBlank() ? new String[0] : s.text(key, "").split("[ \n]+")) {
+        for (String w :
+                s.text(key, "").isBlank() ? new String[0] : s.text(key, "").split("[ \n]+")) {
             if (w.matches("\\d{1,18}")) {
                 all.add(Long.parseLong(w));
             } else {
-                faults.add(s.place(s.value(key), key) + "'" + w + "' is no destination, allowed: whole numbers apart by spaces");
+                faults.add(s.place(s.value(key), key) + "'" + w
+                        + "' is no destination, allowed: whole numbers apart by spaces");
             }
         }
         return all;
@@ -332,11 +390,16 @@
         double[] steps = new double[0];
         long from = 0, every = 0;
         try {
-            steps = java.util.Arrays.stream(s.text("canary_steps", "").strip().split("[ \n]+")).mapToDouble(Double::parseDouble).toArray();
-            from = java.time.OffsetDateTime.parse(s.text("canary_from", "")).toInstant().toEpochMilli();
+            steps = java.util.Arrays.stream(s.text("canary_steps", "").strip().split("[ \n]+"))
+                    .mapToDouble(Double::parseDouble)
+                    .toArray();
+            from = java.time.OffsetDateTime.parse(s.text("canary_from", ""))
+                    .toInstant()
+                    .toEpochMilli();
             every = java.time.Duration.parse("PT" + s.text("canary_every", "")).toMillis();
         } catch (NumberFormatException | java.time.DateTimeException e) {
-            faults.add(s.place(s.value("canary"), "canary") + "lacks its steps or has unusable ones, allowed: canary_steps in percent apart by spaces, canary_from a time "
+            faults.add(s.place(s.value("canary"), "canary")
+                    + "lacks its steps or has unusable ones, allowed: canary_steps in percent apart by spaces, canary_from a time "
                     + "such as 2026-12-01T08:00:00Z, canary_every such as 10M or 1H");
             return null;
         }
@@ -345,7 +408,9 @@
             rising &= steps[i] >= steps[i - 1];
         }
         if (!rising || every < 1_000 || to.size() != 1) {
-            faults.add(s.place(s.value("canary"), "canary") + "allowed: one destination, canary_steps from 0 to 100 that do not fall, canary_every of a second or more");
+            faults.add(
+                    s.place(s.value("canary"), "canary")
+                            + "allowed: one destination, canary_steps from 0 to 100 that do not fall, canary_every of a second or more");
             return null;
         }
         return new Route.Canary(to.get(0), steps, from, every);
--- a/src/main/java/elderseam/rules/Rates.java
+++ b/src/main/java/elderseam/rules/Rates.java
@@ -9,7 +9,7 @@
 
     private final long partNs;
     private final int[][] counts;
-    private final long[] parts;     // the part that was counted last, by tenant
+    private final long[] parts; // the part that was counted last, by tenant
 
     Rates(int tenants, int windowS) {
         partNs = Math.max(1, windowS * 1_000_000_000L / PARTS);
--- a/src/main/java/elderseam/rules/Route.java
+++ b/src/main/java/elderseam/rules/Route.java
@@ -35,9 +35,15 @@
     private final List<Member> members;
     private final Map<String, List<Long>> subsets;
     private final List<Long> fallbacks;
-    private final Canary canary;   // or null
+    private final Canary canary; // or null
 
-    Route(String name, List<Member> members, Map<String, List<Long>> subsets, List<Long> fallbacks, Canary canary, String header) {
+    Route(
+            String name,
+            List<Member> members,
+            Map<String, List<Long>> subsets,
+            List<Long> fallbacks,
+            Canary canary,
+            String header) {
         this.name = name;
         this.members = members;
         this.subsets = subsets;
@@ -52,7 +58,8 @@
 
     /** Every destination that it may name. */
     List<Long> all() {
-        List<Long> all = new ArrayList<>(members.stream().map(Member::destination).toList());
+        List<Long> all =
+                new ArrayList<>(members.stream().map(Member::destination).toList());
         all.addAll(fallbacks);
         if (canary != null) {
             all.add(canary.destination);
@@ -80,7 +87,9 @@
             among = told;
         }
         long hash = HASH.hashCharsToLong(key);
-        if (canary != null && among.isEmpty() && unit(HASH.hashLongLongToLong(hash, CANARY)) < canary.share(wallMs)
+        if (canary != null
+                && among.isEmpty()
+                && unit(HASH.hashLongLongToLong(hash, CANARY)) < canary.share(wallMs)
                 && breaker.apply(canary.destination) != Breaker.OPEN) {
             return canary.destination;
         }
@@ -104,7 +113,8 @@
         List<Ranked> all = new ArrayList<>();
         for (Member m : members) {
             if (of == null || of.contains(m.destination)) {
-                all.add(new Ranked(m.destination, -m.weight / Math.log(unit(HASH.hashLongLongToLong(hash, m.destination)))));
+                all.add(new Ranked(
+                        m.destination, -m.weight / Math.log(unit(HASH.hashLongLongToLong(hash, m.destination)))));
             }
         }
         all.sort(Comparator.comparingDouble((Ranked r) -> -r.score).thenComparingLong(Ranked::destination));
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -9,7 +9,7 @@
     private static final int MOST_KEY = 512;
 
     final String name;
-    final Program when;               // null: always
+    final Program when; // null: always
     Program cls, tenant, destination, key, deadline, refuse, routeBy, limitBy;
     Route route;
     String subset = "";
@@ -45,13 +45,18 @@
         }
         if (e == null && destination != null) {
             destinationResult = destination.whole(a);
-            e = a.error() != null ? a.error() : Rulebook.destination(destinationResult) ? null : new Err("no destination: " + destinationResult);
+            e = a.error() != null
+                    ? a.error()
+                    : Rulebook.destination(destinationResult) ? null : new Err("no destination: " + destinationResult);
         }
         if (e == null && key != null) {
             Object v = key.value(a);
             keyResult = v instanceof String s ? s : "";
-            e = a.error() != null ? a.error() : keyResult.isEmpty() || keyResult.length() > MOST_KEY ? new Err("a key of " + keyResult.length()
-                    + " characters, allowed: 1 to " + MOST_KEY) : null;
+            e = a.error() != null
+                    ? a.error()
+                    : keyResult.isEmpty() || keyResult.length() > MOST_KEY
+                            ? new Err("a key of " + keyResult.length() + " characters, allowed: 1 to " + MOST_KEY)
+                            : null;
         }
         if (e == null && deadline != null) {
             deadlineResult = ns(deadline.value(a));
@@ -79,7 +84,9 @@
         }
         String told = route.header.isEmpty() ? "" : a.facts().headers().getOrDefault(route.header, "");
         destinationResult = route.destination(s, subset, told, a.wallMs(), a.state()::breaker);
-        return destinationResult < 0 ? new Err("'" + told + "' in " + route.header + " is no destination or subset of route " + route.name) : null;
+        return destinationResult < 0
+                ? new Err("'" + told + "' in " + route.header + " is no destination or subset of route " + route.name)
+                : null;
     }
 
     private static long ns(Object v) {
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -10,8 +10,8 @@
 
 /** All that one reading of the operator's rules came to. Decides without I/O; one thread owns it. */
 public final class Rulebook {
-    private static final long QUIET_NS = 10_000_000_000L;   // between two words on the errors of one rule
-    private static final int MOST_WORDS = 5;                // a second, on all of them
+    private static final long QUIET_NS = 10_000_000_000L; // between two words on the errors of one rule
+    private static final int MOST_WORDS = 5; // a second, on all of them
 
     private final Extent extent;
     private final List<String> classes, tenants;
@@ -21,11 +21,18 @@
     private final Rates rates;
     private final Scheme scheme;
     private final Map<Rule, Long> told = new java.util.IdentityHashMap<>();
-    private Consumer<String> log = words -> { };
+    private Consumer<String> log = words -> {};
     private long second, words;
 
-    Rulebook(Extent extent, List<String> classes, List<String> tenants, List<Table> tables, Map<String, Buckets> limits, Arrival arrival, Rates rates,
-             Scheme scheme) {
+    Rulebook(
+            Extent extent,
+            List<String> classes,
+            List<String> tenants,
+            List<Table> tables,
+            Map<String, Buckets> limits,
+            Arrival arrival,
+            Rates rates,
+            Scheme scheme) {
         this.extent = extent;
         this.classes = classes;
         this.tenants = tenants;
@@ -61,11 +68,34 @@
 
     /** What the tables make of a message; {@code now} of the dispatcher's clock, in ns. */
     void decide(Stream.Message m, Facts facts, Surroundings state, long now, long wallMs, Ruling into) {
-        decide(m.id(), m.cls(), m.tenant(), m.destination(), Math.max(0, m.deadline() - now), m.again(), m.key(), facts, state, now, wallMs, into);
+        decide(
+                m.id(),
+                m.cls(),
+                m.tenant(),
+                m.destination(),
+                Math.max(0, m.deadline() - now),
+                m.again(),
+                m.key(),
+                facts,
+                state,
+                now,
+                wallMs,
+                into);
     }
 
-    void decide(String id, int cls, int tenant, long destination, long remainingNs, boolean resent, String key, Facts facts, Surroundings state, long now,
-                long wallMs, Ruling into) {
+    void decide(
+            String id,
+            int cls,
+            int tenant,
+            long destination,
+            long remainingNs,
+            boolean resent,
+            String key,
+            Facts facts,
+            Surroundings state,
+            long now,
+            long wallMs,
+            Ruling into) {
         arrival.begin(facts, state, now, wallMs);
         arrival.id = id;
         arrival.cls = cls;
@@ -125,7 +155,8 @@
         second = words == 0 ? now : second;
         if (words++ < MOST_WORDS) {
             told.put(rule, now);
-            log.accept("rules: rule " + rule.name + " ended in an error: " + e.words() + " (" + rule.errors + " so far)");
+            log.accept(
+                    "rules: rule " + rule.name + " ended in an error: " + e.words() + " (" + rule.errors + " so far)");
         }
     }
 
@@ -133,10 +164,22 @@
     public String counts() {
         StringBuilder all = new StringBuilder();
         for (Table t : tables) {
-            t.rules.forEach(r -> all.append(all.isEmpty() ? "" : ", ").append(r.name).append(' ').append(r.matched).append(" matched ")
-                    .append(r.errors).append(" errors"));
+            t.rules.forEach(r -> all.append(all.isEmpty() ? "" : ", ")
+                    .append(r.name)
+                    .append(' ')
+                    .append(r.matched)
+                    .append(" matched ")
+                    .append(r.errors)
+                    .append(" errors"));
         }
-        limits.values().forEach(b -> all.append(", limit ").append(b.name).append(' ').append(b.size()).append(" keys ").append(b.crowded()).append(" crowded"));
+        limits.values()
+                .forEach(b -> all.append(", limit ")
+                        .append(b.name)
+                        .append(' ')
+                        .append(b.size())
+                        .append(" keys ")
+                        .append(b.crowded())
+                        .append(" crowded"));
         return all.toString();
     }
 }
--- a/src/main/java/elderseam/rules/Ruling.java
+++ b/src/main/java/elderseam/rules/Ruling.java
@@ -12,9 +12,9 @@
 
     int cls, tenant, priority;
     long destination, deadlineNs, refuseNs;
-    String key, by;                       // by: the rule that refused or erred
+    String key, by; // by: the rule that refused or erred
     final List<Charge> charges = new ArrayList<>(2);
-    final List<String> trace;             // what matched and why not, where that is asked for; else null
+    final List<String> trace; // what matched and why not, where that is asked for; else null
 
     Ruling(boolean traced) {
         trace = traced ? new ArrayList<>() : null;
--- a/src/main/java/elderseam/rules/Sample.java
+++ b/src/main/java/elderseam/rules/Sample.java
@@ -17,7 +17,8 @@
  */
 public final class Sample implements Facts, Surroundings {
     /** What a sample's state may tell. */
-    static final String STATE = "rate=NUMBER share=NUMBER breaker=closed|half_open|open in_flight=N wait=SECONDS held=N remaining=SECONDS";
+    static final String STATE =
+            "rate=NUMBER share=NUMBER breaker=closed|half_open|open in_flight=N wait=SECONDS held=N remaining=SECONDS";
 
     private final String method, path;
     private final Map<String, String> headers, attributes = new LinkedHashMap<>(), state = new LinkedHashMap<>();
@@ -49,7 +50,9 @@
             if (colon < 1) {
                 faults.add("'" + h + "' is no header, allowed: NAME: VALUE");
             } else {
-                headers.putIfAbsent(h.substring(0, colon).strip().toLowerCase(Locale.ROOT), h.substring(colon + 1).strip());
+                headers.putIfAbsent(
+                        h.substring(0, colon).strip().toLowerCase(Locale.ROOT),
+                        h.substring(colon + 1).strip());
             }
         }
         return new Sample(words[0], words[1], headers, body.getBytes(StandardCharsets.UTF_8));
@@ -59,15 +62,21 @@
     public static Sample read(String text, List<String> faults) {
         String plain = text.replace("\r\n", "\n");
         int end = plain.indexOf("\n\n");
-        List<String> head = new ArrayList<>(List.of((end < 0 ? plain : plain.substring(0, end)).strip().split("\n")));
+        List<String> head = new ArrayList<>(
+                List.of((end < 0 ? plain : plain.substring(0, end)).strip().split("\n")));
         String body = end < 0 ? "" : plain.substring(end + 2);
-        return of(head.get(0), head.subList(1, head.size()), body.endsWith("\n") ? body.substring(0, body.length() - 1) : body, faults);
+        return of(
+                head.get(0),
+                head.subList(1, head.size()),
+                body.endsWith("\n") ? body.substring(0, body.length() - 1) : body,
+                faults);
     }
 
     /** Words such as rate=3.5, apart by spaces. */
     public void state(String words, List<String> faults) {
         for (String w : words.isBlank() ? new String[0] : words.strip().split("\\s+")) {
-            if (w.matches("(rate|share|wait|remaining)=\\d{1,9}(\\.\\d{1,9})?|(in_flight|held)=\\d{1,9}|breaker=(closed|half_open|open)")) {
+            if (w.matches(
+                    "(rate|share|wait|remaining)=\\d{1,9}(\\.\\d{1,9})?|(in_flight|held)=\\d{1,9}|breaker=(closed|half_open|open)")) {
                 state.put(w.substring(0, w.indexOf('=')), w.substring(w.indexOf('=') + 1));
             } else {
                 faults.add("'" + w + "' is no state, allowed: " + STATE);
@@ -89,9 +98,19 @@
         boolean event = front().equals("events");
         String dest = event ? header("ce-destination") : header("x-addressing").replace("dest=", "");
         String id = event ? header("ce-source") + header("ce-id") : header("x-txn");
-        book.decide(id, names.cls(event ? header("ce-type") : path.substring(1)), names.tenant(header(event ? "ce-tenant" : "x-org")),
-                dest.matches("\\d{1,18}") ? Long.parseLong(dest) : 0, (long) (number("remaining", 10) * 1e9), headers.containsKey("x-resent"),
-                header("idempotency-key"), this, this, 0, at.toEpochMilli(), into);
+        book.decide(
+                id,
+                names.cls(event ? header("ce-type") : path.substring(1)),
+                names.tenant(header(event ? "ce-tenant" : "x-org")),
+                dest.matches("\\d{1,18}") ? Long.parseLong(dest) : 0,
+                (long) (number("remaining", 10) * 1e9),
+                headers.containsKey("x-resent"),
+                header("idempotency-key"),
+                this,
+                this,
+                0,
+                at.toEpochMilli(),
+                into);
     }
 
     private String header(String name) {
@@ -139,7 +158,7 @@
 
     @Override
     public Breaker breaker(long destination) {
-        return switch (state.getOrDefault("breaker", "closed")) {   // the words that state() lets pass
+        return switch (state.getOrDefault("breaker", "closed")) { // the words that state() lets pass
             case "open" -> Breaker.OPEN;
             case "half_open" -> Breaker.HALF_OPEN;
             default -> Breaker.CLOSED;
@@ -167,7 +186,7 @@
     }
 
     @Override
-    public double rate(int tenant) {   // there is no history
+    public double rate(int tenant) { // there is no history
         return number("rate", 0);
     }
 }
--- a/src/main/java/elderseam/rules/Scheme.java
+++ b/src/main/java/elderseam/rules/Scheme.java
@@ -24,7 +24,11 @@
 
     private static String hash(String text, int bytes) {
         try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)), 0, bytes);
+            return HexFormat.of()
+                    .formatHex(
+                            MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)),
+                            0,
+                            bytes);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
--- a/src/main/java/elderseam/rules/SchemeText.java
+++ b/src/main/java/elderseam/rules/SchemeText.java
@@ -6,14 +6,23 @@
 
 /** The text of a {@link Scheme}: of all rules only what may decide which of them yields a key, and which key. */
 final class SchemeText {
-    private static final Set<String> RULE = Set.of("when", "class", "tenant", "destination", "route", "key"), NOT = Set.of("limit", "example", "scheme");
+    private static final Set<String> RULE = Set.of("when", "class", "tenant", "destination", "route", "key"),
+            NOT = Set.of("limit", "example", "scheme");
 
     private SchemeText() {}
 
     static String of(List<Section> sections, Extent e) {
-        StringBuilder all = new StringBuilder("[scheme keys]\nzone = ").append(e.zone().getId()).append("\nbody_bytes = ").append(e.bodyBytes())
-                .append("\nbody_depth = ").append(e.bodyDepth()).append("\nfield_chars = ").append(e.fieldChars()).append("\nlist_items = ")
-                .append(e.listItems()).append('\n');
+        StringBuilder all = new StringBuilder("[scheme keys]\nzone = ")
+                .append(e.zone().getId())
+                .append("\nbody_bytes = ")
+                .append(e.bodyBytes())
+                .append("\nbody_depth = ")
+                .append(e.bodyDepth())
+                .append("\nfield_chars = ")
+                .append(e.fieldChars())
+                .append("\nlist_items = ")
+                .append(e.listItems())
+                .append('\n');
         for (Section s : sections) {
             if (NOT.contains(s.kind())) {
                 continue;
--- a/src/main/java/elderseam/rules/Surroundings.java
+++ b/src/main/java/elderseam/rules/Surroundings.java
@@ -3,7 +3,11 @@
 /** How the dispatcher stands, for rules that ask; asked on the thread that decides. */
 public interface Surroundings {
     /** How a destination's breaker stands. */
-    enum Breaker { CLOSED, HALF_OPEN, OPEN }
+    enum Breaker {
+        CLOSED,
+        HALF_OPEN,
+        OPEN
+    }
 
     /** CLOSED too where nothing is known. */
     Breaker breaker(long destination);
--- a/src/main/java/elderseam/rules/Table.java
+++ b/src/main/java/elderseam/rules/Table.java
@@ -5,7 +5,7 @@
 
 /** Rules in their order: the first that matches counts, or all that do, a later one over an earlier. */
 final class Table {
-    static final long REFUSED_NS = 1_000_000_000L;   // with a rule in error, where errors refuse
+    static final long REFUSED_NS = 1_000_000_000L; // with a rule in error, where errors refuse
 
     final String name;
     final boolean first, refuses;
--- a/src/main/java/elderseam/rules/lang/Arithmetic.java
+++ b/src/main/java/elderseam/rules/lang/Arithmetic.java
@@ -41,7 +41,8 @@
             case '+' -> Math.addExact(a, b);
             case '-' -> Math.subtractExact(a, b);
             case '*' -> Math.multiplyExact(a, b);
-            default -> a == Long.MIN_VALUE && b == -1 ? Err.OVERFLOW : sign == '/' ? (Object) (a / b) : (Object) (a % b);
+            default ->
+                a == Long.MIN_VALUE && b == -1 ? Err.OVERFLOW : sign == '/' ? (Object) (a / b) : (Object) (a % b);
         };
     }
 
@@ -71,7 +72,9 @@
             return new Bytes(all);
         }
         if (x instanceof Instant && y instanceof Duration || y instanceof Instant && x instanceof Duration) {
-            return x instanceof Instant t ? Functions.inRange(t.plus((Duration) y)) : Functions.inRange(((Instant) y).plus((Duration) x));
+            return x instanceof Instant t
+                    ? Functions.inRange(t.plus((Duration) y))
+                    : Functions.inRange(((Instant) y).plus((Duration) x));
         }
         return x instanceof Duration a && y instanceof Duration b ? Functions.inRange(a.plus(b)) : Err.NO_OVERLOAD;
     }
--- a/src/main/java/elderseam/rules/lang/Bounds.java
+++ b/src/main/java/elderseam/rules/lang/Bounds.java
@@ -12,8 +12,8 @@
     private final Scope scope;
     private final Map<String, Size> variables = new HashMap<>();
     private final long budget;
-    private Map<Ast, Long> seen;   // the bound of each node, where it is asked for
-    private Ast culprit;       // the first, deepest node that is above the budget by itself
+    private Map<Ast, Long> seen; // the bound of each node, where it is asked for
+    private Ast culprit; // the first, deepest node that is above the budget by itself
 
     private Bounds(Scope scope, long budget) {
         this.scope = scope;
@@ -25,8 +25,11 @@
         Bounds b = new Bounds(scope, budget);
         long cost = b.of(tree).cost;
         if (cost > budget) {
-            throw new FaultException(Fault.at(text, b.culprit.at(), "may cost " + (cost >= Size.MOST ? "without end" : Long.toString(cost))
-                    + " units, allowed: " + budget));
+            throw new FaultException(Fault.at(
+                    text,
+                    b.culprit.at(),
+                    "may cost " + (cost >= Size.MOST ? "without end" : Long.toString(cost)) + " units, allowed: "
+                            + budget));
         }
         return cost;
     }
@@ -48,16 +51,38 @@
     }
 
     private static String words(Ast a) {
-        return a instanceof Ast.Literal x ? x.value() instanceof String s ? "'" + s + "'" : x.value().toString() : a instanceof Ast.Name x ? x.name()
-                : a instanceof Ast.Present x ? "has" : a instanceof Ast.Select x ? (x.has() ? "has ." : ".") + x.field()
-                : a instanceof Ast.Call x ? x.function() : a instanceof Ast.ListOf ? "[...]" : a instanceof Ast.MapOf ? "{...}"
-                : ((Ast.Each) a).macro() + " " + ((Ast.Each) a).variable();
+        return a instanceof Ast.Literal x
+                ? x.value() instanceof String s ? "'" + s + "'" : x.value().toString()
+                : a instanceof Ast.Name x
+                        ? x.name()
+                        : a instanceof Ast.Present x
+                                ? "has"
+                                : a instanceof Ast.Select x
+                                        ? (x.has() ? "has ." : ".") + x.field()
+                                        : a instanceof Ast.Call x
+                                                ? x.function()
+                                                : a instanceof Ast.ListOf
+                                                        ? "[...]"
+                                                        : a instanceof Ast.MapOf
+                                                                ? "{...}"
+                                                                : ((Ast.Each) a).macro() + " "
+                                                                        + ((Ast.Each) a).variable();
     }
 
     private Bound of(Ast a) {
-        Bound b = a instanceof Ast.Literal x ? new Bound(1, Cost.of(x.value())) : a instanceof Ast.Name x ? new Bound(1, size(x.name()))
-                : a instanceof Ast.Present x ? new Bound(1 + of(x.name()).cost, Size.ONE) : a instanceof Ast.Select x ? select(x) : a instanceof Ast.Call x ? call(x) : a instanceof Ast.ListOf x ? list(x.items())
-                : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
+        Bound b = a instanceof Ast.Literal x
+                ? new Bound(1, Cost.of(x.value()))
+                : a instanceof Ast.Name x
+                        ? new Bound(1, size(x.name()))
+                        : a instanceof Ast.Present x
+                                ? new Bound(1 + of(x.name()).cost, Size.ONE)
+                                : a instanceof Ast.Select x
+                                        ? select(x)
+                                        : a instanceof Ast.Call x
+                                                ? call(x)
+                                                : a instanceof Ast.ListOf x
+                                                        ? list(x.items())
+                                                        : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
         if (b.cost > budget && culprit == null) {
             culprit = a;
         }
@@ -69,12 +94,15 @@
 
     private Size size(String name) {
         Size s = variables.get(name);
-        return s != null ? s : scope.get(name) == null ? Size.ONE : scope.get(name).size();
+        return s != null
+                ? s
+                : scope.get(name) == null ? Size.ONE : scope.get(name).size();
     }
 
     private Bound select(Ast.Select x) {
         Bound of = of(x.of());
-        return new Bound(Size.add(of.cost, 1 + Size.text(x.field().length()).whole()), x.has() ? Size.ONE : of.size.items());
+        return new Bound(
+                Size.add(of.cost, 1 + Size.text(x.field().length()).whole()), x.has() ? Size.ONE : of.size.items());
     }
 
     private Bound list(List<Ast> items) {
@@ -110,17 +138,21 @@
         }
         long round = Size.add(1, Size.add(filter.cost, body.cost));
         long cost = Size.add(Size.add(1, range.cost), Size.mul(range.size.length(), round));
-        return new Bound(cost, switch (x.macro()) {
-            case "map" -> Size.list(range.size.length(), body.size);
-            case "filter" -> Size.list(range.size.length(), item);
-            default -> Size.ONE;
-        });
+        return new Bound(
+                cost,
+                switch (x.macro()) {
+                    case "map" -> Size.list(range.size.length(), body.size);
+                    case "filter" -> Size.list(range.size.length(), item);
+                    default -> Size.ONE;
+                });
     }
 
     private Bound call(Ast.Call x) {
         Bound[] args = x.args().stream().map(this::of).toArray(Bound[]::new);
         if (x.function().equals("?:")) {
-            return new Bound(Size.add(1, Size.add(args[0].cost, Math.max(args[1].cost, args[2].cost))), Size.larger(args[1].size, args[2].size));
+            return new Bound(
+                    Size.add(1, Size.add(args[0].cost, Math.max(args[1].cost, args[2].cost))),
+                    Size.larger(args[1].size, args[2].size));
         }
         Size[] sizes = new Size[args.length];
         long cost = 0;
@@ -133,8 +165,14 @@
 
     private static Size result(String function, Size[] a) {
         return switch (function) {
-            case "+" -> new Size(Size.add(a[0].length(), a[1].length()), a[0].item() == null ? a[1].item() : Size.larger(a[0], a[1]).item(),
-                    Size.add(a[0].chars(), a[1].chars()), Size.add(a[0].whole(), a[1].whole()));
+            case "+" ->
+                new Size(
+                        Size.add(a[0].length(), a[1].length()),
+                        a[0].item() == null
+                                ? a[1].item()
+                                : Size.larger(a[0], a[1]).item(),
+                        Size.add(a[0].chars(), a[1].chars()),
+                        Size.add(a[0].whole(), a[1].whole()));
             case "[]" -> a[0].items();
             case "string" -> Size.text(Math.max(64, a[0].chars()));
             case "bytes" -> Size.text(Size.mul(4, a[0].chars()));
--- a/src/main/java/elderseam/rules/lang/Checker.java
+++ b/src/main/java/elderseam/rules/lang/Checker.java
@@ -3,12 +3,10 @@
 import static elderseam.rules.lang.Type.Plain.BOOL;
 import static elderseam.rules.lang.Type.Plain.BYTES;
 import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.DURATION;
 import static elderseam.rules.lang.Type.Plain.DYN;
 import static elderseam.rules.lang.Type.Plain.INT;
 import static elderseam.rules.lang.Type.Plain.NULL;
 import static elderseam.rules.lang.Type.Plain.STRING;
-import static elderseam.rules.lang.Type.Plain.TIMESTAMP;
 import static elderseam.rules.lang.Type.Plain.UINT;
 
 import java.time.DateTimeException;
@@ -24,7 +22,7 @@
 final class Checker {
     private final String text;
     private final Scope scope;
-    private final Map<String, Type> variables = new HashMap<>();   // of macros
+    private final Map<String, Type> variables = new HashMap<>(); // of macros
     private final Map<Ast, Type> types = new IdentityHashMap<>();
     private final List<Fault> faults = new ArrayList<>();
 
@@ -52,20 +50,35 @@
     }
 
     private Type type(Ast a) {
-        Type t = a instanceof Ast.Literal x ? literal(x.value())
-                : a instanceof Ast.Name x ? name(x)
-                : a instanceof Ast.Select x ? select(x)
-                : a instanceof Ast.Present x ? present(x)
-                : a instanceof Ast.Call x ? call(x)
-                : a instanceof Ast.ListOf x ? new Type.ListType(Type.common(x.items().stream().map(this::type).toList()))
-                : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
+        Type t = a instanceof Ast.Literal x
+                ? literal(x.value())
+                : a instanceof Ast.Name x
+                        ? name(x)
+                        : a instanceof Ast.Select x
+                                ? select(x)
+                                : a instanceof Ast.Present x
+                                        ? present(x)
+                                        : a instanceof Ast.Call x
+                                                ? call(x)
+                                                : a instanceof Ast.ListOf x
+                                                        ? new Type.ListType(Type.common(x.items().stream()
+                                                                .map(this::type)
+                                                                .toList()))
+                                                        : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
         types.put(a, t);
         return t;
     }
 
     private static Type literal(Object v) {
-        return v instanceof Boolean ? BOOL : v instanceof Long ? INT : v instanceof Uint ? UINT : v instanceof Double ? DOUBLE
-                : v instanceof String ? STRING : v instanceof Bytes ? BYTES : NULL;
+        return v instanceof Boolean
+                ? BOOL
+                : v instanceof Long
+                        ? INT
+                        : v instanceof Uint
+                                ? UINT
+                                : v instanceof Double
+                                        ? DOUBLE
+                                        : v instanceof String ? STRING : v instanceof Bytes ? BYTES : NULL;
     }
 
     private Type name(Ast.Name x) {
@@ -74,7 +87,14 @@
             return t;
         }
         Scope.Declared d = scope.get(x.name());
-        return d == null && scope.open(x.name()) ? fault(x, "all of '" + x.name() + "', expected a field of it, such as " + x.name() + ".a") : d == null ? fault(x, "no such name '" + x.name() + "', known: " + String.join(", ", scope.all().keySet())) : d.type();
+        return d == null && scope.open(x.name())
+                ? fault(x, "all of '" + x.name() + "', expected a field of it, such as " + x.name() + ".a")
+                : d == null
+                        ? fault(
+                                x,
+                                "no such name '" + x.name() + "', known: "
+                                        + String.join(", ", scope.all().keySet()))
+                        : d.type();
     }
 
     private Type select(Ast.Select x) {
@@ -82,7 +102,9 @@
         if (of instanceof Type.MapType m && Type.fits(STRING, m.key())) {
             return x.has() ? BOOL : m.value();
         }
-        return of == DYN ? x.has() ? BOOL : DYN : fault(x, "." + x.field() + " of " + of + ", expected a map with string keys");
+        return of == DYN
+                ? x.has() ? BOOL : DYN
+                : fault(x, "." + x.field() + " of " + of + ", expected a map with string keys");
     }
 
     private Type present(Ast.Present x) {
@@ -97,13 +119,18 @@
                 fault(x.keys().get(i), "a key of " + keys.get(i) + ", expected bool, int, uint or string");
             }
         }
-        return new Type.MapType(Type.common(keys), Type.common(x.values().stream().map(this::type).toList()));
+        return new Type.MapType(
+                Type.common(keys),
+                Type.common(x.values().stream().map(this::type).toList()));
     }
 
     private Type each(Ast.Each x) {
         Type range = type(x.range());
-        Type item = range instanceof Type.ListType l ? l.item() : range instanceof Type.MapType m ? m.key() : range == DYN ? DYN
-                : fault(x, x.macro() + " over " + range + ", expected a list or a map");
+        Type item = range instanceof Type.ListType l
+                ? l.item()
+                : range instanceof Type.MapType m
+                        ? m.key()
+                        : range == DYN ? DYN : fault(x, x.macro() + " over " + range + ", expected a list or a map");
         Type hidden = variables.put(x.variable(), item);
         Type filter = x.filter() == null ? BOOL : type(x.filter()), body = type(x.body());
         if (hidden == null) {
@@ -113,7 +140,9 @@
         }
         boolean maps = x.macro().equals("map");
         if (!Type.fits(filter, BOOL) || !maps && !Type.fits(body, BOOL)) {
-            return fault(!Type.fits(filter, BOOL) ? x.filter() : x.body(), "gives " + (Type.fits(filter, BOOL) ? body : filter) + " where bool is expected");
+            return fault(
+                    !Type.fits(filter, BOOL) ? x.filter() : x.body(),
+                    "gives " + (Type.fits(filter, BOOL) ? body : filter) + " where bool is expected");
         }
         return maps ? new Type.ListType(body) : x.macro().equals("filter") ? new Type.ListType(item) : BOOL;
     }
@@ -122,12 +151,15 @@
         List<Type> args = x.args().stream().map(this::type).toList();
         switch (x.function()) {
             case "?:" -> {
-                return !Type.fits(args.get(0), BOOL) ? fault(x.args().get(0), "gives " + args.get(0) + " where bool is expected")
-                        : Type.fits(args.get(1), args.get(2)) ? Type.common(args.subList(1, 3))
-                        : fault(x, "gives " + args.get(1) + " or " + args.get(2) + ", expected one type");
+                return !Type.fits(args.get(0), BOOL)
+                        ? fault(x.args().get(0), "gives " + args.get(0) + " where bool is expected")
+                        : Type.fits(args.get(1), args.get(2))
+                                ? Type.common(args.subList(1, 3))
+                                : fault(x, "gives " + args.get(1) + " or " + args.get(2) + ", expected one type");
             }
             case "==", "!=" -> {
-                return Type.fits(args.get(0), args.get(1)) || args.contains(NULL) ? BOOL
+                return Type.fits(args.get(0), args.get(1)) || args.contains(NULL)
+                        ? BOOL
                         : fault(x, x.function() + " of " + args.get(0) + " and " + args.get(1) + ", expected one type");
             }
             case "in" -> {
@@ -144,7 +176,8 @@
 
     private Type in(Ast.Call x, List<Type> args) {
         Type of = args.get(1);
-        boolean fits = of == DYN || of instanceof Type.ListType l && Type.fits(args.get(0), l.item())
+        boolean fits = of == DYN
+                || of instanceof Type.ListType l && Type.fits(args.get(0), l.item())
                 || of instanceof Type.MapType m && Type.fits(args.get(0), m.key());
         return fits ? BOOL : fault(x, args.get(0) + " in " + of + ", expected a list or a map of such");
     }
@@ -156,14 +189,18 @@
         if (args.get(0) instanceof Type.MapType m && Type.fits(args.get(1), m.key())) {
             return m.value();
         }
-        return args.get(0) == DYN ? DYN : fault(x, args.get(0) + "[" + args.get(1) + "], expected a list and int, or a map and its key");
+        return args.get(0) == DYN
+                ? DYN
+                : fault(x, args.get(0) + "[" + args.get(1) + "], expected a list and int, or a map and its key");
     }
 
     private Type overload(Ast.Call x, List<Type> args) {
         if (x.function().equals("+") && args.get(0) instanceof Type.ListType && args.get(1) instanceof Type.ListType) {
             return Type.common(args);
         }
-        if (x.function().equals("+") && args.contains(DYN) && args.stream().allMatch(t -> t == DYN || t instanceof Type.ListType)) {
+        if (x.function().equals("+")
+                && args.contains(DYN)
+                && args.stream().allMatch(t -> t == DYN || t instanceof Type.ListType)) {
             return DYN;
         }
         List<Signatures.Signature> all = Signatures.of(x.function(), x.method());
@@ -181,7 +218,15 @@
             }
         }
         if (gives.isEmpty()) {
-            return fault(x, name(x) + " of " + words(args) + ", expected " + String.join(" or ", all.stream().map(s -> words(s.takes())).distinct().toList()));
+            return fault(
+                    x,
+                    name(x) + " of " + words(args) + ", expected "
+                            + String.join(
+                                    " or ",
+                                    all.stream()
+                                            .map(s -> words(s.takes()))
+                                            .distinct()
+                                            .toList()));
         }
         constants(x);
         return Type.common(gives);
@@ -212,7 +257,9 @@
                 if (Functions.duration(s) == null) {
                     fault(last, "no duration, expected such as \"1h30m\"");
                 }
-            } else if (value instanceof String s && x.function().startsWith("get") && x.args().size() == 2) {
+            } else if (value instanceof String s
+                    && x.function().startsWith("get")
+                    && x.args().size() == 2) {
                 ZoneId.of(s);
             }
         } catch (com.google.re2j.PatternSyntaxException | PatternSyntaxException | DateTimeException e) {
--- a/src/main/java/elderseam/rules/lang/Cost.java
+++ b/src/main/java/elderseam/rules/lang/Cost.java
@@ -14,7 +14,14 @@
         return switch (function) {
             case "==", "!=", "<", "<=", ">", ">=" -> add(1, add(a[0].whole(), a[1].whole()));
             case "+" -> add(1, add(a[0].whole(), a[1].whole()));
-            case "in" -> add(1, a[1].item() == null ? a[0].whole() : mul(a[1].length(), add(a[0].whole(), a[1].items().whole())));
+            case "in" ->
+                add(
+                        1,
+                        a[1].item() == null
+                                ? a[0].whole()
+                                : mul(
+                                        a[1].length(),
+                                        add(a[0].whole(), a[1].items().whole())));
             case "[]" -> add(1, a[1].whole());
             case "startsWith", "endsWith" -> add(1, a[1].texts());
             case "contains" -> add(1, add(a[0].texts(), mul(a[0].chars(), a[1].chars()) / 16));
@@ -27,7 +34,12 @@
 
     /** The size of a value. Of a list or map only how many there are: what looks at its items counts as it goes. */
     static Size of(Object v) {
-        return v instanceof String s ? Size.text(s.length()) : v instanceof Bytes b ? Size.text(b.length())
-                : v instanceof java.util.List<?> l ? Size.list(l.size(), Size.NONE) : v instanceof java.util.Map<?, ?> m ? Size.list(m.size(), Size.NONE) : Size.ONE;
+        return v instanceof String s
+                ? Size.text(s.length())
+                : v instanceof Bytes b
+                        ? Size.text(b.length())
+                        : v instanceof java.util.List<?> l
+                                ? Size.list(l.size(), Size.NONE)
+                                : v instanceof java.util.Map<?, ?> m ? Size.list(m.size(), Size.NONE) : Size.ONE;
     }
 }
--- a/src/main/java/elderseam/rules/lang/Deep.java
+++ b/src/main/java/elderseam/rules/lang/Deep.java
@@ -11,13 +11,17 @@
     static <T> T run(Supplier<T> work) {
         Object[] result = new Object[1];
         RuntimeException[] failed = new RuntimeException[1];
-        Thread t = new Thread(null, () -> {
-            try {
-                result[0] = work.get();
-            } catch (RuntimeException e) {
-                failed[0] = e;
-            }
-        }, "rules", STACK);
+        Thread t = new Thread(
+                null,
+                () -> {
+                    try {
+                        result[0] = work.get();
+                    } catch (RuntimeException e) {
+                        failed[0] = e;
+                    }
+                },
+                "rules",
+                STACK);
         t.start();
         boolean interrupted = false;
         while (t.isAlive()) {
--- a/src/main/java/elderseam/rules/lang/Evaluator.java
+++ b/src/main/java/elderseam/rules/lang/Evaluator.java
@@ -109,10 +109,17 @@
                     sizes[i] = Cost.of(args[i]);
                 }
                 // what goes through items counts them itself
-                boolean items = x.function().equals("in") || x.function().equals("==") || x.function().equals("!=");
+                boolean items = x.function().equals("in")
+                        || x.function().equals("==")
+                        || x.function().equals("!=");
                 counter.count(items ? 1 : Cost.of(x.function(), sizes));
-                return counter.over() ? Err.COST : x.function().equals("matches") ? args[0] instanceof String s ? (Object) patterns.get(x).matcher(s).find() : Err.NO_OVERLOAD
-                        : Functions.call(x.function(), args, counter);
+                return counter.over()
+                        ? Err.COST
+                        : x.function().equals("matches")
+                                ? args[0] instanceof String s
+                                        ? (Object) patterns.get(x).matcher(s).find()
+                                        : Err.NO_OVERLOAD
+                                : Functions.call(x.function(), args, counter);
             }
         }
     }
@@ -129,7 +136,9 @@
         if (b instanceof Boolean v && v == decides) {
             return decides;
         }
-        return !(a instanceof Boolean) ? a instanceof Err ? a : Err.NO_OVERLOAD : b instanceof Boolean || b instanceof Err ? b : Err.NO_OVERLOAD;
+        return !(a instanceof Boolean)
+                ? a instanceof Err ? a : Err.NO_OVERLOAD
+                : b instanceof Boolean || b instanceof Err ? b : Err.NO_OVERLOAD;
     }
 
     private Object each(Ast.Each x) {
@@ -161,7 +170,9 @@
             counter.count(1);
             variables.put(x.variable(), item);
             Object filter = x.filter() == null ? (Object) true : value(x.filter());
-            Object v = filter instanceof Boolean b ? b ? value(x.body()) : null : filter instanceof Err ? filter : Err.NO_OVERLOAD;
+            Object v = filter instanceof Boolean b
+                    ? b ? value(x.body()) : null
+                    : filter instanceof Err ? filter : Err.NO_OVERLOAD;
             if (counter.over()) {
                 return Err.COST;
             }
--- a/src/main/java/elderseam/rules/lang/Expression.java
+++ b/src/main/java/elderseam/rules/lang/Expression.java
@@ -36,7 +36,8 @@
         for (int i = 0; i < all.size(); i++) {
             all.addAll(Ast.below(all.get(i)));
             if (all.get(i) instanceof Ast.Call c && c.function().equals("matches")) {
-                patterns.put(c, Functions.pattern((String) ((Ast.Literal) c.args().get(1)).value()));
+                patterns.put(
+                        c, Functions.pattern((String) ((Ast.Literal) c.args().get(1)).value()));
             }
         }
     }
@@ -50,7 +51,8 @@
         try {
             Ast tree = Qualify.names(Parser.parse(text), scope);
             Map<Ast, Type> types = Checker.check(text, tree, scope, asked);
-            return new Compiled(new Expression(text, tree, types, scope, Bounds.of(text, tree, scope, budget), budget), List.of());
+            return new Compiled(
+                    new Expression(text, tree, types, scope, Bounds.of(text, tree, scope, budget), budget), List.of());
         } catch (FaultException e) {
             return new Compiled(null, e.faults);
         }
@@ -98,8 +100,11 @@
         if (a instanceof Ast.Call c && c.function().equals("?:")) {
             return outcomes(c.args().get(1), all) && outcomes(c.args().get(2), all);
         }
-        if (a instanceof Ast.Call c && c.args().size() == 1 && (c.function().equals("duration") || c.function().equals("timestamp"))
-                && c.args().get(0) instanceof Ast.Literal l && l.value() instanceof String s) {
+        if (a instanceof Ast.Call c
+                && c.args().size() == 1
+                && (c.function().equals("duration") || c.function().equals("timestamp"))
+                && c.args().get(0) instanceof Ast.Literal l
+                && l.value() instanceof String s) {
             return all.add(c.function().equals("duration") ? Functions.duration(s) : Functions.timestamp(s));
         }
         return a instanceof Ast.Literal l && all.add(l.value());
--- a/src/main/java/elderseam/rules/lang/Functions.java
+++ b/src/main/java/elderseam/rules/lang/Functions.java
@@ -18,12 +18,28 @@
 
 /** What functions and operators give, errors as values. Those that go through items count them on the counter. */
 final class Functions {
-    private static final java.util.regex.Pattern DURATION = java.util.regex.Pattern.compile("[-+]?((\\d{1,18}(\\.\\d{0,9})?|\\.\\d{1,9})(h|ms|us|µs|ns|m|s))+"),
+    private static final java.util.regex.Pattern
+            DURATION =
+                    java.util.regex.Pattern.compile("[-+]?((\\d{1,18}(\\.\\d{0,9})?|\\.\\d{1,9})(h|ms|us|µs|ns|m|s))+"),
             PART = java.util.regex.Pattern.compile("(\\d*(?:\\.\\d*)?)(h|ms|us|µs|ns|m|s)");
-    private static final Map<String, Long> UNITS = Map.of("h", 3_600_000_000_000L, "m", 60_000_000_000L, "s", 1_000_000_000L, "ms", 1_000_000L, "us", 1_000L,
-            "µs", 1_000L, "ns", 1L);
+    private static final Map<String, Long> UNITS = Map.of(
+            "h",
+            3_600_000_000_000L,
+            "m",
+            60_000_000_000L,
+            "s",
+            1_000_000_000L,
+            "ms",
+            1_000_000L,
+            "us",
+            1_000L,
+            "µs",
+            1_000L,
+            "ns",
+            1L);
     private static final long MOST_SECONDS = 315_576_000_000L;
-    private static final Instant FIRST = Instant.parse("0001-01-01T00:00:00Z"), LAST = Instant.parse("9999-12-31T23:59:59.999999999Z");
+    private static final Instant FIRST = Instant.parse("0001-01-01T00:00:00Z"),
+            LAST = Instant.parse("9999-12-31T23:59:59.999999999Z");
 
     private Functions() {}
 
@@ -38,7 +54,10 @@
             case "!=" -> !equal(a[0], a[1], counter);
             case "<", "<=", ">", ">=" -> ordered(f, a[0], a[1]);
             case "+", "-", "*", "/", "%" -> Arithmetic.of(f, a[0], a[1]);
-            case "-_" -> a[0] instanceof Long n ? n == Long.MIN_VALUE ? Err.OVERFLOW : (Object) (-n) : a[0] instanceof Double d ? (Object) (-d) : Err.NO_OVERLOAD;
+            case "-_" ->
+                a[0] instanceof Long n
+                        ? n == Long.MIN_VALUE ? Err.OVERFLOW : (Object) (-n)
+                        : a[0] instanceof Double d ? (Object) (-d) : Err.NO_OVERLOAD;
             case "!_" -> a[0] instanceof Boolean b ? (Object) !b : Err.NO_OVERLOAD;
             case "in" -> in(a[0], a[1], counter);
             case "[]" -> index(a[0], a[1]);
@@ -62,7 +81,7 @@
             return -2;
         }
         if (x instanceof Double a && y instanceof Double b) {
-            return a < b ? -1 : a > b ? 1 : 0;   // the two zeros are one
+            return a < b ? -1 : a > b ? 1 : 0; // the two zeros are one
         }
         if (x instanceof Double a && a.isInfinite()) {
             return a > 0 ? 1 : -1;
@@ -164,12 +183,18 @@
         if (v != null || !isNumber(key)) {
             return v;
         }
-        BigDecimal n = key instanceof Double d && (d.isNaN() || d.isInfinite()) ? null : exact(key).stripTrailingZeros();
+        BigDecimal n = key instanceof Double d && (d.isNaN() || d.isInfinite())
+                ? null
+                : exact(key).stripTrailingZeros();
         if (n == null || n.scale() > 0 || n.precision() - n.scale() > 20) {
             return null;
         }
         v = n.toBigInteger().bitLength() < 64 ? m.get(n.longValue()) : null;
-        return v != null ? v : n.signum() >= 0 && n.toBigInteger().bitLength() <= 64 ? m.get(new Uint(n.toBigInteger().longValue())) : null;
+        return v != null
+                ? v
+                : n.signum() >= 0 && n.toBigInteger().bitLength() <= 64
+                        ? m.get(new Uint(n.toBigInteger().longValue()))
+                        : null;
     }
 
     private static Object index(Object of, Object key) {
@@ -178,7 +203,8 @@
             return v == null ? Err.NO_KEY : v;
         }
         if (of instanceof List<?> l && isNumber(key)) {
-            boolean in = compare(key, 0L) >= 0 && compare(key, (long) l.size()) < 0 && compare(key, exactLong(key)) == 0;
+            boolean in =
+                    compare(key, 0L) >= 0 && compare(key, (long) l.size()) < 0 && compare(key, exactLong(key)) == 0;
             return in ? l.get((int) exactLong(key)) : Err.BOUNDS;
         }
         return Err.NO_OVERLOAD;
@@ -189,8 +215,13 @@
     }
 
     private static Object size(Object v) {
-        return v instanceof String s ? (Object) (long) s.codePointCount(0, s.length()) : v instanceof Bytes b ? (Object) (long) b.length()
-                : v instanceof List<?> l ? (Object) (long) l.size() : v instanceof Map<?, ?> m ? (Object) (long) m.size() : Err.NO_OVERLOAD;
+        return v instanceof String s
+                ? (Object) (long) s.codePointCount(0, s.length())
+                : v instanceof Bytes b
+                        ? (Object) (long) b.length()
+                        : v instanceof List<?> l
+                                ? (Object) (long) l.size()
+                                : v instanceof Map<?, ?> m ? (Object) (long) m.size() : Err.NO_OVERLOAD;
     }
 
     private static Object text(String f, Object x, Object y) {
@@ -207,13 +238,27 @@
             return switch (f) {
                 case "int" -> toInt(v);
                 case "uint" -> toUint(v);
-                case "double" -> v instanceof Double ? v : v instanceof Long n ? (Object) (double) n : v instanceof Uint u ? (Object) new BigDecimal(u.toString()).doubleValue()
-                        : v instanceof String s ? (Object) Double.parseDouble(s) : Err.NO_OVERLOAD;
+                case "double" ->
+                    v instanceof Double
+                            ? v
+                            : v instanceof Long n
+                                    ? (Object) (double) n
+                                    : v instanceof Uint u
+                                            ? (Object) new BigDecimal(u.toString()).doubleValue()
+                                            : v instanceof String s ? (Object) Double.parseDouble(s) : Err.NO_OVERLOAD;
                 case "string" -> toText(v);
-                case "bytes" -> v instanceof Bytes ? v : v instanceof String s ? new Bytes(s.getBytes(StandardCharsets.UTF_8)) : Err.NO_OVERLOAD;
+                case "bytes" ->
+                    v instanceof Bytes
+                            ? v
+                            : v instanceof String s ? new Bytes(s.getBytes(StandardCharsets.UTF_8)) : Err.NO_OVERLOAD;
                 case "bool" -> toBool(v);
                 case "timestamp" -> v instanceof Instant ? v : v instanceof String s ? timestamp(s) : Err.NO_OVERLOAD;
-                case "duration" -> v instanceof Duration ? v : v instanceof String s ? duration(s) == null ? new Err("no duration") : duration(s) : Err.NO_OVERLOAD;
+                case "duration" ->
+                    v instanceof Duration
+                            ? v
+                            : v instanceof String s
+                                    ? duration(s) == null ? new Err("no duration") : duration(s)
+                                    : Err.NO_OVERLOAD;
                 default -> Err.NO_OVERLOAD;
             };
         } catch (NumberFormatException | DateTimeException e) {
@@ -225,21 +270,35 @@
         if (v instanceof Double d) {
             return d > -0x1p63 && d < 0x1p63 ? (Object) (long) (double) d : Err.RANGE;
         }
-        return v instanceof Long ? v : v instanceof Uint u ? u.bits() < 0 ? Err.RANGE : (Object) u.bits() : v instanceof String s ? (Object) Long.parseLong(s)
-                : v instanceof Instant t ? (Object) t.getEpochSecond() : Err.NO_OVERLOAD;
+        return v instanceof Long
+                ? v
+                : v instanceof Uint u
+                        ? u.bits() < 0 ? Err.RANGE : (Object) u.bits()
+                        : v instanceof String s
+                                ? (Object) Long.parseLong(s)
+                                : v instanceof Instant t ? (Object) t.getEpochSecond() : Err.NO_OVERLOAD;
     }
 
     private static Object toUint(Object v) {
         if (v instanceof Double d) {
-            return d > -1 && d < 0x1p64 ? (Object) new Uint(new BigDecimal(d).toBigInteger().longValue()) : Err.RANGE;
+            return d > -1 && d < 0x1p64
+                    ? (Object) new Uint(new BigDecimal(d).toBigInteger().longValue())
+                    : Err.RANGE;
         }
-        return v instanceof Uint ? v : v instanceof Long n ? n < 0 ? Err.RANGE : new Uint(n) : v instanceof String s ? new Uint(Long.parseUnsignedLong(s)) : Err.NO_OVERLOAD;
+        return v instanceof Uint
+                ? v
+                : v instanceof Long n
+                        ? n < 0 ? Err.RANGE : new Uint(n)
+                        : v instanceof String s ? new Uint(Long.parseUnsignedLong(s)) : Err.NO_OVERLOAD;
     }
 
     private static Object toText(Object v) {
         if (v instanceof Bytes b) {
             try {
-                return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(b.octets)).toString();
+                return StandardCharsets.UTF_8
+                        .newDecoder()
+                        .decode(ByteBuffer.wrap(b.octets))
+                        .toString();
             } catch (CharacterCodingException e) {
                 return new Err("octets that are no UTF-8");
             }
@@ -248,15 +307,30 @@
             return d == Math.rint(d) && Math.abs(d) < 1e15 ? Long.toString((long) (double) d) : Double.toString(d);
         }
         if (v instanceof Duration d) {
-            BigDecimal s = BigDecimal.valueOf(d.getSeconds()).add(BigDecimal.valueOf(d.getNano(), 9)).stripTrailingZeros();
+            BigDecimal s = BigDecimal.valueOf(d.getSeconds())
+                    .add(BigDecimal.valueOf(d.getNano(), 9))
+                    .stripTrailingZeros();
             return s.toPlainString() + "s";
         }
-        return v instanceof String || v instanceof Boolean || v instanceof Long || v instanceof Uint || v instanceof Instant ? v.toString() : Err.NO_OVERLOAD;
+        return v instanceof String
+                        || v instanceof Boolean
+                        || v instanceof Long
+                        || v instanceof Uint
+                        || v instanceof Instant
+                ? v.toString()
+                : Err.NO_OVERLOAD;
     }
 
     private static Object toBool(Object v) {
-        return v instanceof Boolean ? v : !(v instanceof String s) ? Err.NO_OVERLOAD : List.of("true", "True", "TRUE", "t", "1").contains(s) ? (Object) true
-                : List.of("false", "False", "FALSE", "f", "0").contains(s) ? (Object) false : new Err("can't be converted to bool");
+        return v instanceof Boolean
+                ? v
+                : !(v instanceof String s)
+                        ? Err.NO_OVERLOAD
+                        : List.of("true", "True", "TRUE", "t", "1").contains(s)
+                                ? (Object) true
+                                : List.of("false", "False", "FALSE", "f", "0").contains(s)
+                                        ? (Object) false
+                                        : new Err("can't be converted to bool");
     }
 
     /** RFC 3339; of the years 1 to 9999. */
@@ -280,12 +354,19 @@
         }
         BigDecimal ns = BigDecimal.ZERO;
         for (Matcher m = PART.matcher(s); m.find(); ) {
-            ns = ns.add(new BigDecimal(m.group(1).endsWith(".") ? m.group(1) + "0" : m.group(1)).multiply(BigDecimal.valueOf(UNITS.get(m.group(2)))));
+            ns = ns.add(new BigDecimal(m.group(1).endsWith(".") ? m.group(1) + "0" : m.group(1))
+                    .multiply(BigDecimal.valueOf(UNITS.get(m.group(2)))));
         }
         BigDecimal signed = s.startsWith("-") ? ns.negate() : ns;
-        return signed.abs().compareTo(BigDecimal.valueOf(MOST_SECONDS, -9)) > 0 ? null
-                : Duration.ofSeconds(signed.toBigInteger().divide(java.math.BigInteger.valueOf(1_000_000_000)).longValue(),
-                        signed.toBigInteger().remainder(java.math.BigInteger.valueOf(1_000_000_000)).longValue());
+        return signed.abs().compareTo(BigDecimal.valueOf(MOST_SECONDS, -9)) > 0
+                ? null
+                : Duration.ofSeconds(
+                        signed.toBigInteger()
+                                .divide(java.math.BigInteger.valueOf(1_000_000_000))
+                                .longValue(),
+                        signed.toBigInteger()
+                                .remainder(java.math.BigInteger.valueOf(1_000_000_000))
+                                .longValue());
     }
 
     // ---------------------------------------------------------------- parts of times
--- a/src/main/java/elderseam/rules/lang/Inputs.java
+++ b/src/main/java/elderseam/rules/lang/Inputs.java
@@ -7,7 +7,7 @@
  */
 public abstract class Inputs {
     Err error;
-    final Object[] variables = new Object[Parser.DEEPEST + 1];   // of macros, by how deep they stand
+    final Object[] variables = new Object[Parser.DEEPEST + 1]; // of macros, by how deep they stand
     private long most, spent;
 
     /** A value of any type; null where there is none; an {@link Err} where it can't be had. */
--- a/src/main/java/elderseam/rules/lang/Lexer.java
+++ b/src/main/java/elderseam/rules/lang/Lexer.java
@@ -8,8 +8,9 @@
 
 /** Text to tokens, by the lexis of the CEL specification ("Syntax"): numbers, strings plain, raw, of bytes, of three quotes. */
 final class Lexer {
-    private static final List<String> SIGNS = List.of("==", "!=", "<=", ">=", "&&", "||", "<", ">", "+", "-", "*", "/", "%", "!", "?", ":", ".",
-            ",", "(", ")", "[", "]", "{", "}");
+    private static final List<String> SIGNS = List.of(
+            "==", "!=", "<=", ">=", "&&", "||", "<", ">", "+", "-", "*", "/", "%", "!", "?", ":", ".", ",", "(", ")",
+            "[", "]", "{", "}");
 
     private final String text;
     private int at;
@@ -110,7 +111,9 @@
                 return new Uint(Long.parseUnsignedLong(digits, hex ? 16 : 10));
             }
             // the least int is written as a negation: its digits alone are one too many
-            return hex || !digits.equals("9223372036854775808") ? (Object) Long.parseLong(digits, hex ? 16 : 10) : TOO_LARGE_BY_ONE;
+            return hex || !digits.equals("9223372036854775808")
+                    ? (Object) Long.parseLong(digits, hex ? 16 : 10)
+                    : TOO_LARGE_BY_ONE;
         } catch (NumberFormatException e) {
             throw fault(from, "a number that 64 bits do not hold");
         }
@@ -134,7 +137,9 @@
         String letters = text.substring(at, at + prefix).toLowerCase(Locale.ROOT);
         at += prefix;
         boolean raw = letters.contains("r"), bytes = letters.contains("b");
-        String quote = text.startsWith("\"\"\"", at) || text.startsWith("'''", at) ? text.substring(at, at + 3) : text.substring(at, at + 1);
+        String quote = text.startsWith("\"\"\"", at) || text.startsWith("'''", at)
+                ? text.substring(at, at + 3)
+                : text.substring(at, at + 1);
         at += quote.length();
         StringBuilder s = new StringBuilder();
         ByteArrayOutputStream b = new ByteArrayOutputStream();
@@ -180,7 +185,7 @@
         }
         s.appendCodePoint(code);
         if (bytes && (c == 'x' || c == 'X' || isDigit(c))) {
-            b.write(code);   // an octet, not a character
+            b.write(code); // an octet, not a character
         } else {
             b.writeBytes(Character.toString(code).getBytes(StandardCharsets.UTF_8));
         }
--- a/src/main/java/elderseam/rules/lang/Parser.java
+++ b/src/main/java/elderseam/rules/lang/Parser.java
@@ -12,11 +12,35 @@
  */
 final class Parser {
     static final int DEEPEST = 100, LONGEST = 500, MOST_TEXT = 64 << 10;
-    private static final Set<String> RESERVED = Set.of("as", "break", "const", "continue", "else", "for", "function", "if", "import", "let",
-            "loop", "package", "namespace", "return", "var", "void", "while", "in", "true", "false", "null");
+    private static final Set<String> RESERVED = Set.of(
+            "as",
+            "break",
+            "const",
+            "continue",
+            "else",
+            "for",
+            "function",
+            "if",
+            "import",
+            "let",
+            "loop",
+            "package",
+            "namespace",
+            "return",
+            "var",
+            "void",
+            "while",
+            "in",
+            "true",
+            "false",
+            "null");
     private static final Set<String> MACROS = Set.of("all", "exists", "exists_one", "filter", "map");
-    private static final List<Set<String>> LEVELS = List.of(Set.of("||"), Set.of("&&"), Set.of("==", "!=", "<", "<=", ">", ">=", "in"),
-            Set.of("+", "-"), Set.of("*", "/", "%"));
+    private static final List<Set<String>> LEVELS = List.of(
+            Set.of("||"),
+            Set.of("&&"),
+            Set.of("==", "!=", "<", "<=", ">", ">=", "in"),
+            Set.of("+", "-"),
+            Set.of("*", "/", "%"));
     private static final Map<String, Object> WORDS = Map.of("true", true, "false", false, "null", Null.NULL);
 
     private final String text;
@@ -30,7 +54,8 @@
 
     static Ast parse(String text) throws FaultException {
         if (text.length() > MOST_TEXT) {
-            throw new FaultException(new Fault(1, 1, "", "an expression of " + text.length() + " characters, allowed: " + MOST_TEXT));
+            throw new FaultException(
+                    new Fault(1, 1, "", "an expression of " + text.length() + " characters, allowed: " + MOST_TEXT));
         }
         Parser p = new Parser(text, Lexer.tokens(text));
         Ast tree = p.expression();
@@ -124,13 +149,18 @@
             throw fault(signs.get(DEEPEST), "more than " + DEEPEST + " such operators in a row");
         }
         for (int i = 0; i < signs.size(); i++) {
-            left = new Ast.Call((String) signs.get(i).value(), false, List.of(left, chain.get(i + 1)), signs.get(i).at());
+            left = new Ast.Call(
+                    (String) signs.get(i).value(),
+                    false,
+                    List.of(left, chain.get(i + 1)),
+                    signs.get(i).at());
         }
         return left;
     }
 
     private static boolean isSign(Set<String> signs, Token t) {
-        return t.kind() == Token.Kind.SIGN && signs.contains(t.value()) || t.kind() == Token.Kind.NAME && t.value().equals("in") && signs.contains("in");
+        return t.kind() == Token.Kind.SIGN && signs.contains(t.value())
+                || t.kind() == Token.Kind.NAME && t.value().equals("in") && signs.contains("in");
     }
 
     private static Ast even(List<Ast> chain, List<Token> signs, int from, int to) {
@@ -139,7 +169,11 @@
         }
         int middle = (from + to) / 2;
         Token sign = signs.get(middle - 1);
-        return new Ast.Call((String) sign.value(), false, List.of(even(chain, signs, from, middle), even(chain, signs, middle, to)), sign.at());
+        return new Ast.Call(
+                (String) sign.value(),
+                false,
+                List.of(even(chain, signs, from, middle), even(chain, signs, middle, to)),
+                sign.at());
     }
 
     private Ast unary() throws FaultException {
@@ -148,11 +182,16 @@
             return member();
         }
         take();
-        if (t.is("-") && peek().kind() == Token.Kind.LITERAL) {   // a negative literal, so that the least int can be written
+        if (t.is("-")
+                && peek().kind() == Token.Kind.LITERAL) { // a negative literal, so that the least int can be written
             Object v = peek().value();
             if (v == Lexer.TOO_LARGE_BY_ONE || v instanceof Long || v instanceof Double) {
                 take();
-                return members(new Ast.Literal(v instanceof Long n ? (Object) (-n) : v instanceof Double d ? (Object) (-d) : (Object) Long.MIN_VALUE, t.at()));
+                return members(new Ast.Literal(
+                        v instanceof Long n
+                                ? (Object) (-n)
+                                : v instanceof Double d ? (Object) (-d) : (Object) Long.MIN_VALUE,
+                        t.at()));
             }
         }
         deeper();
@@ -204,9 +243,13 @@
         }
         boolean three = function.equals("map") && args.size() == 3;
         if (args.size() != 2 && !three || !(args.get(0) instanceof Ast.Name variable)) {
-            throw fault(field, function + " takes a name and an expression" + (function.equals("map") ? ", or a name and two" : ""));
+            throw fault(
+                    field,
+                    function + " takes a name and an expression"
+                            + (function.equals("map") ? ", or a name and two" : ""));
         }
-        return new Ast.Each(function, receiver, variable.name(), three ? args.get(1) : null, args.get(args.size() - 1), field.at());
+        return new Ast.Each(
+                function, receiver, variable.name(), three ? args.get(1) : null, args.get(args.size() - 1), field.at());
     }
 
     /** Expressions apart by commas up to that sign; one comma may stand before it. */
