--- a/src/main/java/elderseam/rules/lang/Planner.java
+++ b/src/main/java/elderseam/rules/lang/Planner.java
@@ -22,7 +22,7 @@
     private final Map<Ast, Type> types;
     private final Scope scope;
     private final Map<Ast, Pattern> patterns;
-    private final Map<String, Integer> variables = new HashMap<>();   // of macros: their places
+    private final Map<String, Integer> variables = new HashMap<>(); // of macros: their places
     private int depth;
 
     private Planner(Map<Ast, Type> types, Scope scope, Map<Ast, Pattern> patterns) {
@@ -34,8 +34,12 @@
     static Program plan(Ast tree, Map<Ast, Type> types, Scope scope, Map<Ast, Pattern> patterns, long budget) {
         Planner p = new Planner(types, scope, patterns);
         Type t = types.get(tree);
-        return new Program(p.any(tree), t == BOOL || t == Type.Plain.DYN ? p.truth(tree) : in -> false, t == INT || t == Type.Plain.DYN ? p.whole(tree) : in -> 0,
-                t == DOUBLE || t == Type.Plain.DYN ? p.real(tree) : in -> 0, budget);
+        return new Program(
+                p.any(tree),
+                t == BOOL || t == Type.Plain.DYN ? p.truth(tree) : in -> false,
+                t == INT || t == Type.Plain.DYN ? p.whole(tree) : in -> 0,
+                t == DOUBLE || t == Type.Plain.DYN ? p.real(tree) : in -> 0,
+                budget);
     }
 
     private boolean is(Ast a, Type t) {
@@ -64,7 +68,13 @@
             int number = scope.number(p.name().name());
             return in -> in.present(number);
         }
-        Truth t = a instanceof Ast.Call c ? truth(c) : a instanceof Ast.Each e && !e.macro().equals("map") && !e.macro().equals("filter") ? new Rounds(this, e) : null;
+        Truth t = a instanceof Ast.Call c
+                ? truth(c)
+                : a instanceof Ast.Each e
+                                && !e.macro().equals("map")
+                                && !e.macro().equals("filter")
+                        ? new Rounds(this, e)
+                        : null;
         if (t != null) {
             return t;
         }
@@ -81,7 +91,8 @@
         List<Ast> args = c.args();
         switch (c.function()) {
             case "&&", "||" -> {
-                return logical(truth(args.get(0)), truth(args.get(1)), c.function().equals("||"));
+                return logical(
+                        truth(args.get(0)), truth(args.get(1)), c.function().equals("||"));
             }
             case "!_" -> {
                 Truth of = truth(args.get(0));
@@ -105,7 +116,9 @@
             }
             case "in" -> {
                 Object list = constant(args.get(1)) && is(args.get(0), STRING) ? folded(args.get(1)) : null;
-                return list instanceof List<?> l ? Texts.among(any(args.get(0)), l) : null;   // one that ends in an error does so each time
+                return list instanceof List<?> l
+                        ? Texts.among(any(args.get(0)), l)
+                        : null; // one that ends in an error does so each time
             }
             default -> {
                 return null;
@@ -155,7 +168,9 @@
             };
         }
         boolean equality = c.function().equals("==") || c.function().equals("!=");
-        return equality && (is(x, STRING) || is(y, STRING)) ? Texts.equal(any(x), any(y), c.function().equals("==")) : null;
+        return equality && (is(x, STRING) || is(y, STRING))
+                ? Texts.equal(any(x), any(y), c.function().equals("=="))
+                : null;
     }
 
     private static int wholes(Inputs in, Whole a, Whole b) {
@@ -190,9 +205,14 @@
             };
         }
         if (a instanceof Ast.Call c && c.args().size() == 2 && both(c, INT) && "+-*/%".contains(c.function())) {
-            return whole(c.function().charAt(0), whole(c.args().get(0)), whole(c.args().get(1)));
+            return whole(
+                    c.function().charAt(0),
+                    whole(c.args().get(0)),
+                    whole(c.args().get(1)));
         }
-        if (a instanceof Ast.Call c && c.function().equals("size") && is(c.args().get(0), STRING)) {
+        if (a instanceof Ast.Call c
+                && c.function().equals("size")
+                && is(c.args().get(0), STRING)) {
             return Texts.size(any(c.args().get(0)));
         }
         Any of = anyOf(a);
@@ -219,7 +239,10 @@
                     long high = Math.multiplyHigh(x, y), low = x * y;
                     yield high == low >> 63 ? low : failed(in, Err.OVERFLOW);
                 }
-                default -> y == 0 ? failed(in, Err.BY_ZERO) : y == -1 && x == Long.MIN_VALUE ? failed(in, Err.OVERFLOW) : sign == '/' ? x / y : x % y;
+                default ->
+                    y == 0
+                            ? failed(in, Err.BY_ZERO)
+                            : y == -1 && x == Long.MIN_VALUE ? failed(in, Err.OVERFLOW) : sign == '/' ? x / y : x % y;
             };
         };
     }
@@ -237,7 +260,9 @@
             int number = scope.number(n.name());
             return in -> in.real(number);
         }
-        if (a instanceof Ast.Call c && c.function().equals("double") && is(c.args().get(0), INT)) {
+        if (a instanceof Ast.Call c
+                && c.function().equals("double")
+                && is(c.args().get(0), INT)) {
             Whole of = whole(c.args().get(0));
             return in -> of.of(in);
         }
@@ -270,7 +295,9 @@
                 return in.error != null ? null : (Object) v;
             };
         }
-        if (is(a, INT) && a instanceof Ast.Call c && (c.function().equals("?:") || c.args().size() == 2 && both(c, INT))) {
+        if (is(a, INT)
+                && a instanceof Ast.Call c
+                && (c.function().equals("?:") || c.args().size() == 2 && both(c, INT))) {
             Whole w = whole(a);
             return in -> {
                 long v = w.of(in);
@@ -281,7 +308,8 @@
     }
 
     private boolean constant(Ast a) {
-        return !(a instanceof Ast.Name || a instanceof Ast.Present || a instanceof Ast.Each) && Ast.below(a).stream().allMatch(this::constant);
+        return !(a instanceof Ast.Name || a instanceof Ast.Present || a instanceof Ast.Each)
+                && Ast.below(a).stream().allMatch(this::constant);
     }
 
     private Object folded(Ast a) {
@@ -317,7 +345,9 @@
         if (a instanceof Ast.Each x) {
             return new Rounds(this, x)::collect;
         }
-        return a instanceof Ast.Call c ? call(c) : in -> in.present(scope.number(((Ast.Present) a).name().name()));
+        return a instanceof Ast.Call c
+                ? call(c)
+                : in -> in.present(scope.number(((Ast.Present) a).name().name()));
     }
 
     private Any[] anys(List<Ast> nodes) {
@@ -339,7 +369,7 @@
             };
         }
         if (c.function().equals("[]") && c.args().get(1) instanceof Ast.Literal l && l.value() instanceof String key) {
-            return Structures.select(any(c.args().get(0)), key, false);   // the same, and its errors too
+            return Structures.select(any(c.args().get(0)), key, false); // the same, and its errors too
         }
         if (c.function().equals("+") && both(c, STRING)) {
             return Texts.joined(any(c.args().get(0)), any(c.args().get(1)));
--- a/src/main/java/elderseam/rules/lang/Program.java
+++ b/src/main/java/elderseam/rules/lang/Program.java
@@ -67,7 +67,7 @@
 
     private static boolean failed(Inputs in) {
         if (in.over()) {
-            in.error = Err.COST;   // which nothing absorbs
+            in.error = Err.COST; // which nothing absorbs
         }
         return in.error != null;
     }
--- a/src/main/java/elderseam/rules/lang/Qualify.java
+++ b/src/main/java/elderseam/rules/lang/Qualify.java
@@ -65,7 +65,10 @@
             if (at instanceof Ast.Select s && (!s.has() || at == a)) {
                 path.add(0, s.field());
                 at = s.of();
-            } else if (at instanceof Ast.Call c && c.function().equals("[]") && c.args().get(1) instanceof Ast.Literal l && l.value() instanceof String s) {
+            } else if (at instanceof Ast.Call c
+                    && c.function().equals("[]")
+                    && c.args().get(1) instanceof Ast.Literal l
+                    && l.value() instanceof String s) {
                 path.add(0, s);
                 at = c.args().get(0);
             } else {
--- a/src/main/java/elderseam/rules/lang/Rounds.java
+++ b/src/main/java/elderseam/rules/lang/Rounds.java
@@ -8,9 +8,15 @@
 
 /** A comprehension: over a list's items or a map's keys. */
 final class Rounds implements Truth {
-    private static final int ROUND = 2;   // itself, and the least that a body costs
+    private static final int ROUND = 2; // itself, and the least that a body costs
 
-    private enum Kind { ALL, EXISTS, ONE, FILTER, MAP }
+    private enum Kind {
+        ALL,
+        EXISTS,
+        ONE,
+        FILTER,
+        MAP
+    }
 
     private final Kind kind;
     private final Any range, body;
--- a/src/main/java/elderseam/rules/lang/Scope.java
+++ b/src/main/java/elderseam/rules/lang/Scope.java
@@ -33,7 +33,12 @@
 
     /** The name of a field of an open name. */
     String field(String root, List<String> path) {
-        String name = root + "." + String.join(".", path.stream().map(p -> p.replace("\\", "\\\\").replace(".", "\\.")).toList());
+        String name = root + "."
+                + String.join(
+                        ".",
+                        path.stream()
+                                .map(p -> p.replace("\\", "\\\\").replace(".", "\\."))
+                                .toList());
         if (!names.containsKey(name)) {
             fields.put(names.size(), List.copyOf(path));
             name(name, Type.Plain.DYN, open.get(root));
--- a/src/main/java/elderseam/rules/lang/Signatures.java
+++ b/src/main/java/elderseam/rules/lang/Signatures.java
@@ -74,8 +74,17 @@
         }
         put("matches", BOOL, STRING, STRING);
         conversions();
-        for (String f : List.of("getFullYear", "getMonth", "getDayOfYear", "getDayOfMonth", "getDate", "getDayOfWeek", "getHours", "getMinutes",
-                "getSeconds", "getMilliseconds")) {
+        for (String f : List.of(
+                "getFullYear",
+                "getMonth",
+                "getDayOfYear",
+                "getDayOfMonth",
+                "getDate",
+                "getDayOfWeek",
+                "getHours",
+                "getMinutes",
+                "getSeconds",
+                "getMilliseconds")) {
             put("()" + f, INT, TIMESTAMP);
             put("()" + f, INT, TIMESTAMP, STRING);
         }
--- a/src/main/java/elderseam/rules/lang/Size.java
+++ b/src/main/java/elderseam/rules/lang/Size.java
@@ -46,8 +46,11 @@
     }
 
     static Size larger(Size a, Size b) {
-        return new Size(Math.max(a.length, b.length), a.item == null ? b.item : b.item == null ? a.item : larger(a.item, b.item),
-                Math.max(a.chars, b.chars), Math.max(a.most, b.most));
+        return new Size(
+                Math.max(a.length, b.length),
+                a.item == null ? b.item : b.item == null ? a.item : larger(a.item, b.item),
+                Math.max(a.chars, b.chars),
+                Math.max(a.most, b.most));
     }
 
     static long add(long a, long b) {
--- a/src/main/java/elderseam/rules/lang/Structures.java
+++ b/src/main/java/elderseam/rules/lang/Structures.java
@@ -80,11 +80,13 @@
                     sizes[i] = Cost.of(values[i]);
                 }
             }
-            if (!in.spend(items ? 1 : Cost.of(function, sizes))) {   // what goes through items counts them itself
+            if (!in.spend(items ? 1 : Cost.of(function, sizes))) { // what goes through items counts them itself
                 return null;
             }
             if (pattern != null) {
-                return values[0] instanceof String s ? (Object) pattern.matcher(s).find() : failed(in, Err.NO_OVERLOAD);
+                return values[0] instanceof String s
+                        ? (Object) pattern.matcher(s).find()
+                        : failed(in, Err.NO_OVERLOAD);
             }
             Counter counter = in.counter();
             Object v = Functions.call(function, values, counter);
--- a/src/main/java/elderseam/rules/lang/Texts.java
+++ b/src/main/java/elderseam/rules/lang/Texts.java
@@ -18,24 +18,29 @@
         if (v instanceof String s) {
             return s;
         }
-        in.fail(Err.NO_OVERLOAD);   // unless there is an error already
+        in.fail(Err.NO_OVERLOAD); // unless there is an error already
         return null;
     }
 
     static Truth test(String function, Any x, Any y) {
         return switch (function) {
-            case "startsWith" -> in -> {
-                String a = text(in, x), b = a == null ? null : text(in, y);
-                return b != null && in.spend(2 + b.length() / 16) && a.startsWith(b);
-            };
-            case "endsWith" -> in -> {
-                String a = text(in, x), b = a == null ? null : text(in, y);
-                return b != null && in.spend(2 + b.length() / 16) && a.endsWith(b);
-            };
-            default -> in -> {
-                String a = text(in, x), b = a == null ? null : text(in, y);
-                return b != null && in.spend(2 + a.length() / 16 + (long) a.length() * b.length() / 16) && a.contains(b);
-            };
+            case "startsWith" ->
+                in -> {
+                    String a = text(in, x), b = a == null ? null : text(in, y);
+                    return b != null && in.spend(2 + b.length() / 16) && a.startsWith(b);
+                };
+            case "endsWith" ->
+                in -> {
+                    String a = text(in, x), b = a == null ? null : text(in, y);
+                    return b != null && in.spend(2 + b.length() / 16) && a.endsWith(b);
+                };
+            default ->
+                in -> {
+                    String a = text(in, x), b = a == null ? null : text(in, y);
+                    return b != null
+                            && in.spend(2 + a.length() / 16 + (long) a.length() * b.length() / 16)
+                            && a.contains(b);
+                };
         };
     }
 
@@ -43,7 +48,9 @@
         int length = pattern.pattern().length();
         return in -> {
             String a = text(in, x);
-            return a != null && in.spend(1 + (1L + a.length()) * (1 + length) / 4) && pattern.matcher(a).find();
+            return a != null
+                    && in.spend(1 + (1L + a.length()) * (1 + length) / 4)
+                    && pattern.matcher(a).find();
         };
     }
 
--- a/src/main/java/elderseam/rules/lang/Token.java
+++ b/src/main/java/elderseam/rules/lang/Token.java
@@ -6,7 +6,12 @@
  * @param at offset of its first character
  */
 record Token(Kind kind, Object value, int at) {
-    enum Kind { NAME, SIGN, LITERAL, END }
+    enum Kind {
+        NAME,
+        SIGN,
+        LITERAL,
+        END
+    }
 
     boolean is(String sign) {
         return kind == Kind.SIGN && value.equals(sign);
--- a/src/main/java/elderseam/rules/lang/Type.java
+++ b/src/main/java/elderseam/rules/lang/Type.java
@@ -6,8 +6,16 @@
 public sealed interface Type {
     /** Types without parameters. */
     enum Plain implements Type {
-        BOOL("bool"), INT("int"), UINT("uint"), DOUBLE("double"), STRING("string"), BYTES("bytes"), NULL("null"),
-        TIMESTAMP("timestamp"), DURATION("duration"), DYN("dyn");
+        BOOL("bool"),
+        INT("int"),
+        UINT("uint"),
+        DOUBLE("double"),
+        STRING("string"),
+        BYTES("bytes"),
+        NULL("null"),
+        TIMESTAMP("timestamp"),
+        DURATION("duration"),
+        DYN("dyn");
 
         private final String word;
 
@@ -41,14 +49,19 @@
             return true;
         }
         return given instanceof ListType g && asked instanceof ListType a && fits(g.item, a.item)
-                || given instanceof MapType h && asked instanceof MapType b && fits(h.key, b.key) && fits(h.value, b.value);
+                || given instanceof MapType h
+                        && asked instanceof MapType b
+                        && fits(h.key, b.key)
+                        && fits(h.value, b.value);
     }
 
     /** The type of what may be any of these: theirs where they agree. */
     static Type common(List<Type> types) {
         Type t = null;
         for (Type x : types) {
-            t = t == null || t == Plain.DYN && types.stream().allMatch(y -> y == Plain.DYN) ? x : t.equals(x) ? t : fits(t, x) && fits(x, t) ? wider(t, x) : Plain.DYN;
+            t = t == null || t == Plain.DYN && types.stream().allMatch(y -> y == Plain.DYN)
+                    ? x
+                    : t.equals(x) ? t : fits(t, x) && fits(x, t) ? wider(t, x) : Plain.DYN;
         }
         return t == null ? Plain.DYN : t;
     }
--- a/src/main/java/elderseam/settings/Key.java
+++ b/src/main/java/elderseam/settings/Key.java
@@ -10,7 +10,8 @@
  * @param allowed what is allowed, in words that follow "allowed: "
  * @param read the value of a text, or null where the text is none; it need not be told why
  */
-public record Key<T>(String section, String name, String allowed, String absent, boolean live, Function<String, T> read) {
+public record Key<T>(
+        String section, String name, String allowed, String absent, boolean live, Function<String, T> read) {
     public String path() {
         return section + "." + name;
     }
@@ -21,7 +22,8 @@
     }
 
     /** A whole number from {@code least} to {@code most}. */
-    public static Key<Long> whole(String section, String name, String unit, long least, long most, long absent, boolean live) {
+    public static Key<Long> whole(
+            String section, String name, String unit, long least, long most, long absent, boolean live) {
         return new Key<>(section, name, least + " to " + most + " " + unit, Long.toString(absent), live, text -> {
             if (!text.matches("-?\\d{1,18}")) {
                 return null;
@@ -33,7 +35,12 @@
 
     /** An address and a port to listen on, or off. */
     public static Key<String> listen(String section, String name) {
-        return new Key<>(section, name, "off, or ADDRESS:PORT", "off", false,
+        return new Key<>(
+                section,
+                name,
+                "off, or ADDRESS:PORT",
+                "off",
+                false,
                 text -> text.equals("off") || address(text) ? text : null);
     }
 
@@ -46,8 +53,10 @@
     }
 
     /** Any text of one line that matches; empty by default means that it is not set. */
-    public static Key<String> text(String section, String name, String allowed, String form, String absent, boolean live) {
-        return new Key<>(section, name, allowed, absent, live, text -> text.isEmpty() || text.matches(form) ? text : null);
+    public static Key<String> text(
+            String section, String name, String allowed, String form, String absent, boolean live) {
+        return new Key<>(
+                section, name, allowed, absent, live, text -> text.isEmpty() || text.matches(form) ? text : null);
     }
 
     static boolean address(String text) {
--- a/src/main/java/elderseam/settings/Sections.java
+++ b/src/main/java/elderseam/settings/Sections.java
@@ -46,7 +46,7 @@
     public static List<Section> read(String file, List<String> lines, List<String> kinds, List<String> faults) {
         List<Section> all = new ArrayList<>();
         Map<String, Integer> seen = new LinkedHashMap<>();
-        List<Value> values = null;     // those of the last key, which a line may go on
+        List<Value> values = null; // those of the last key, which a line may go on
         for (int i = 0; i < lines.size(); i++) {
             String line = lines.get(i), bare = line.strip(), at = file + ":" + (i + 1) + ": ";
             boolean goesOn = !bare.isEmpty() && Character.isWhitespace(line.charAt(0)) && values != null;
@@ -66,7 +66,8 @@
             int eq = line.indexOf('=');
             String key = eq < 0 ? "" : line.substring(0, eq).strip();
             if (!key.matches("[a-z][a-z0-9_]*")) {
-                faults.add(at + "'" + bare + "' is no line of such a file, allowed: [kind name], key = value, # comment");
+                faults.add(
+                        at + "'" + bare + "' is no line of such a file, allowed: [kind name], key = value, # comment");
             } else if (all.isEmpty()) {
                 faults.add(at + key + ": before any section, allowed: below a [kind name]");
             } else {
@@ -81,14 +82,26 @@
         return all;
     }
 
-    private static void section(String file, String bare, int line, List<String> kinds, List<Section> all, Map<String, Integer> seen, List<String> faults) {
-        String[] words = bare.endsWith("]") ? bare.substring(1, bare.length() - 1).strip().split(" +") : new String[0];
+    private static void section(
+            String file,
+            String bare,
+            int line,
+            List<String> kinds,
+            List<Section> all,
+            Map<String, Integer> seen,
+            List<String> faults) {
+        String[] words = bare.endsWith("]")
+                ? bare.substring(1, bare.length() - 1).strip().split(" +")
+                : new String[0];
         String at = file + ":" + line + ": ";
         if (words.length != 2 || !kinds.contains(words[0]) || !words[1].matches("[A-Za-z0-9_.-]{1,64}")) {
-            faults.add(at + "'" + bare + "' is no section, allowed: " + String.join(", ", kinds.stream().map(k -> "[" + k + " NAME]").toList()));
+            faults.add(at + "'" + bare + "' is no section, allowed: "
+                    + String.join(
+                            ", ", kinds.stream().map(k -> "[" + k + " NAME]").toList()));
             words = new String[] {"unknown", "unknown"};
         } else if (seen.putIfAbsent(words[0] + " " + words[1], line) != null) {
-            faults.add(at + words[0] + " " + words[1] + " stands at line " + seen.get(words[0] + " " + words[1]) + " already, allowed: once");
+            faults.add(at + words[0] + " " + words[1] + " stands at line " + seen.get(words[0] + " " + words[1])
+                    + " already, allowed: once");
         }
         if (all.size() == MOST_SECTIONS) {
             faults.add(at + "more than " + MOST_SECTIONS + " sections");
--- a/src/main/java/elderseam/settings/Settings.java
+++ b/src/main/java/elderseam/settings/Settings.java
@@ -36,13 +36,16 @@
     }
 
     /** Reads and checks a file against these keys; {@link Contradiction}s that its values fulfil are faults too. */
-    public static Settings read(Path file, Collection<? extends Key<?>> keys, List<Contradiction> contradictions) throws IOException {
+    public static Settings read(Path file, Collection<? extends Key<?>> keys, List<Contradiction> contradictions)
+            throws IOException {
         List<String> lines = lines(file, "a settings file");
-        boolean empty = lines.stream().map(String::strip).allMatch(l -> l.isEmpty() || l.startsWith("#") || l.startsWith(";"));
+        boolean empty =
+                lines.stream().map(String::strip).allMatch(l -> l.isEmpty() || l.startsWith("#") || l.startsWith(";"));
         Settings settings = new Settings(file.toString(), empty ? Map.of() : new LinkedHashMap<>());
         List<String> faults = new ArrayList<>();
         if (!empty) {
-            IniFile.read(file.toString(), lines, faults).forEach((path, value) -> settings.told.put(path, new Told(value.text(), value.line())));
+            IniFile.read(file.toString(), lines, faults)
+                    .forEach((path, value) -> settings.told.put(path, new Told(value.text(), value.line())));
         }
         settings.check(keys, faults);
         if (faults.isEmpty()) {
@@ -62,7 +65,8 @@
     public static List<String> lines(Path file, String what) throws IOException {
         try {
             if (Files.size(file) > MOST_BYTES) {
-                throw new SettingsFault(List.of(file + ": more than " + MOST_BYTES + " bytes, " + what + " is smaller"));
+                throw new SettingsFault(
+                        List.of(file + ": more than " + MOST_BYTES + " bytes, " + what + " is smaller"));
             }
             return Files.readAllLines(file);
         } catch (NoSuchFileException e) {
@@ -79,10 +83,18 @@
             Key<?> key = known.get(path);
             String at = file + ":" + value.line + ": " + path + ": ";
             String section = path.substring(0, path.indexOf('.'));
-            List<String> siblings = known.values().stream().filter(k -> k.section().equals(section)).map(Key::name).toList();
+            List<String> siblings = known.values().stream()
+                    .filter(k -> k.section().equals(section))
+                    .map(Key::name)
+                    .toList();
             if (siblings.isEmpty()) {
-                faults.add(at + "unknown section, allowed: " + String.join(", ", known.values().stream().map(Key::section)
-                        .distinct().toList()));
+                faults.add(at + "unknown section, allowed: "
+                        + String.join(
+                                ", ",
+                                known.values().stream()
+                                        .map(Key::section)
+                                        .distinct()
+                                        .toList()));
             } else if (key == null) {
                 faults.add(at + "unknown key, allowed: " + String.join(", ", siblings));
             } else if (key.read().apply(value.text) == null) {
@@ -120,6 +132,9 @@
 
     /** The keys whose values differ in another reading, those that can change live or those that can't. */
     public List<String> changed(Settings other, Collection<? extends Key<?>> keys, boolean live) {
-        return keys.stream().filter(k -> k.live() == live && !text(k).equals(other.text(k))).map(Key::path).toList();
+        return keys.stream()
+                .filter(k -> k.live() == live && !text(k).equals(other.text(k)))
+                .map(Key::path)
+                .toList();
     }
 }
--- a/src/main/java/elderseam/sim/Codec.java
+++ b/src/main/java/elderseam/sim/Codec.java
@@ -1,18 +1,18 @@
 package elderseam.sim;
 
-import java.util.HashMap;
-import java.util.Map;
 import elderseam.core.SettingsMap;
 import elderseam.module.Sender;
 import elderseam.module.Sender.ListKind;
 import elderseam.module.Sender.Listing;
 import elderseam.module.Sender.Report;
 import elderseam.module.Sender.Result;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Turns lines of the wire into records of the interface. */
 final class Codec {
     private static final long NS_PER_MS = 1_000_000;
-    private static final long AGAIN = 2 | 16;   // handed in again; from a courier that died
+    private static final long AGAIN = 2 | 16; // handed in again; from a courier that died
 
     private Codec() {}
 
@@ -65,8 +65,8 @@
         Report report = report(f);
         f.end();
         long wait = result == Result.FULL ? detail * NS_PER_MS : 0;
-        return new Sender.Outcome(id, attempt, endpoint, result, latency, wait,
-                result == Result.NOT_SENT && detail == 1, over, report);
+        return new Sender.Outcome(
+                id, attempt, endpoint, result, latency, wait, result == Result.NOT_SENT && detail == 1, over, report);
     }
 
     static void checked(Fields f) {
--- a/src/main/java/elderseam/sim/Host.java
+++ b/src/main/java/elderseam/sim/Host.java
@@ -1,5 +1,7 @@
 package elderseam.sim;
 
+import elderseam.module.Brain;
+import elderseam.module.Sender;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,8 +12,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import elderseam.module.Brain;
-import elderseam.module.Sender;
 
 /** Hosts one module for each courier on the simulator's wire. It translates and decides nothing. */
 public final class Host {
@@ -217,7 +217,13 @@
 
         @Override
         public void send(String corr, String endpoint, long stopAt) {
-            line("FORWARD").append(' ').append(corr).append(' ').append(endpoint).append(' ').append(stopAt)
+            line("FORWARD")
+                    .append(' ')
+                    .append(corr)
+                    .append(' ')
+                    .append(endpoint)
+                    .append(' ')
+                    .append(stopAt)
                     .append('\n');
         }
 
@@ -228,7 +234,12 @@
 
         @Override
         public void refuse(String corr, long retryAfterNs) {
-            line("BOUNCE").append(' ').append(corr).append(' ').append(retryAfterNs).append('\n');
+            line("BOUNCE")
+                    .append(' ')
+                    .append(corr)
+                    .append(' ')
+                    .append(retryAfterNs)
+                    .append('\n');
         }
 
         @Override
--- a/src/main/java/elderseam/upgrade/Frame.java
+++ b/src/main/java/elderseam/upgrade/Frame.java
@@ -14,6 +14,7 @@
 public sealed interface Frame {
     /** A frame of the link's first version; another version is refused by closing the link. */
     byte VERSION = 1;
+
     int MOST = 8 << 20;
 
     /** The newer process is warm: it asks for everything. */
@@ -88,12 +89,25 @@
                 for (int n = in.readInt(); n > 0; n--) {
                     out.add(new Handover.Out(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
                 }
-                yield new Give(new String(list, java.nio.charset.StandardCharsets.UTF_8), new Handover.Estate(learned, out), drains);
+                yield new Give(
+                        new String(list, java.nio.charset.StandardCharsets.UTF_8),
+                        new Handover.Estate(learned, out),
+                        drains);
             }
             case 3 -> new Owned();
             case 4 -> new Abandon(in.readUTF(), in.readInt());
-            case 5 -> new Ended(new Handover.Passed(in.readUTF(), in.readInt(), in.readUTF(), in.readBoolean(), new End(
-                    Progress.values()[in.readByte()], Status.values()[in.readByte()], in.readLong(), in.readDouble(), in.readDouble())));
+            case 5 ->
+                new Ended(new Handover.Passed(
+                        in.readUTF(),
+                        in.readInt(),
+                        in.readUTF(),
+                        in.readBoolean(),
+                        new End(
+                                Progress.values()[in.readByte()],
+                                Status.values()[in.readByte()],
+                                in.readLong(),
+                                in.readDouble(),
+                                in.readDouble())));
             default -> throw new IOException("unknown frame " + type);
         };
     }
--- a/src/main/java/elderseam/upgrade/Giving.java
+++ b/src/main/java/elderseam/upgrade/Giving.java
@@ -6,11 +6,21 @@
  */
 public final class Giving {
     /** OWNER until asked; GIVEN while the newer process takes over and may yet fail; GONE once it has. */
-    public enum State { OWNER, GIVEN, GONE }
+    public enum State {
+        OWNER,
+        GIVEN,
+        GONE
+    }
 
     /** GIVE: stop, let the folder go and tell all. RESUME: own it again. LEAVE: the other one has it; settle and end.
      *  FAIL: nobody serves any more; end, so that the platform starts one. */
-    public enum Step { NONE, GIVE, RESUME, LEAVE, FAIL }
+    public enum Step {
+        NONE,
+        GIVE,
+        RESUME,
+        LEAVE,
+        FAIL
+    }
 
     private State state = State.OWNER;
 
--- a/src/main/java/elderseam/upgrade/Link.java
+++ b/src/main/java/elderseam/upgrade/Link.java
@@ -26,8 +26,8 @@
  */
 public final class Link {
     private static final String NAME = "handover";
-    private static final int MOST_WAITING = 8_192;   // frames to be written; a link that is so far behind is ended
-    private static final Frame END = new Frame.Take();   // ends the writing thread; compared by identity
+    private static final int MOST_WAITING = 8_192; // frames to be written; a link that is so far behind is ended
+    private static final Frame END = new Frame.Take(); // ends the writing thread; compared by identity
 
     private final SocketChannel channel;
     private final DataInputStream in;
@@ -63,7 +63,8 @@
 
     /** Takes one link after the other, on a thread of its own; each is handed over, and the next taken once it has ended. */
     public static ServerSocketChannel listen(Path folder, Consumer<Link> opened) throws IOException {
-        Files.deleteIfExists(address(folder).getPath());   // the lock is held: it is of a dead process, or of one that has given
+        Files.deleteIfExists(
+                address(folder).getPath()); // the lock is held: it is of a dead process, or of one that has given
         ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         server.bind(address(folder));
         Files.setPosixFilePermissions(address(folder).getPath(), PosixFilePermissions.fromString("rw-------"));
@@ -89,7 +90,7 @@
     public Frame await() {
         try {
             return next();
-        } catch (IOException | RuntimeException e) {   // whatever is wrong with it ends it
+        } catch (IOException | RuntimeException e) { // whatever is wrong with it ends it
             close();
             return null;
         }
@@ -138,7 +139,10 @@
             for (Frame f = waiting.take(); f != END; f = waiting.take()) {
                 ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
                 f.to(new DataOutputStream(bytes));
-                ByteBuffer out = ByteBuffer.allocate(4 + bytes.size()).putInt(bytes.size()).put(bytes.toByteArray()).flip();
+                ByteBuffer out = ByteBuffer.allocate(4 + bytes.size())
+                        .putInt(bytes.size())
+                        .put(bytes.toByteArray())
+                        .flip();
                 while (out.hasRemaining()) {
                     channel.write(out);
                 }
--- a/src/main/java/elderseam/upgrade/Owner.java
+++ b/src/main/java/elderseam/upgrade/Owner.java
@@ -27,7 +27,7 @@
             try {
                 lock = file.tryLock();
             } catch (OverlappingFileLockException e) {
-                return false;   // another dispatcher of the same process, as in a training run
+                return false; // another dispatcher of the same process, as in a training run
             }
         }
         return lock != null;
--- a/src/main/java/elderseam/upgrade/Taking.java
+++ b/src/main/java/elderseam/upgrade/Taking.java
@@ -2,11 +2,24 @@
 
 /** The newer process's part, likewise. It begins by looking for an older one, and ends as the owner. */
 public final class Taking {
-    public enum State { SEEKING, WARMING, ASKED, OWNER }
+    public enum State {
+        SEEKING,
+        WARMING,
+        ASKED,
+        OWNER
+    }
 
     /** RECOVER: nobody else is there, begin as after any end of a process. WARM: get ready beside the older one. ASK it. TAKE: begin
      *  with what it told. LOOK_AGAIN: after a moment. SETTLE: the calls that it had out have ended unheard. */
-    public enum Step { NONE, RECOVER, WARM, ASK, TAKE, LOOK_AGAIN, SETTLE }
+    public enum Step {
+        NONE,
+        RECOVER,
+        WARM,
+        ASK,
+        TAKE,
+        LOOK_AGAIN,
+        SETTLE
+    }
 
     private State state = State.SEEKING;
 
--- a/src/main/java/elderseam/wiring/Accession.java
+++ b/src/main/java/elderseam/wiring/Accession.java
@@ -16,8 +16,8 @@
     /** The folder is this process's; {@code link} and {@code given}: from an older one, else null. */
     record Won(Owner owner, Link link, Frame.Give given) {}
 
-    private static final long PATIENCE_NS = 10_000 * Clock.MS;      // with an owner that neither ends nor answers
-    private static final long LOCK_NS = 500 * Clock.MS;             // the older one let go before it told
+    private static final long PATIENCE_NS = 10_000 * Clock.MS; // with an owner that neither ends nor answers
+    private static final long LOCK_NS = 500 * Clock.MS; // the older one let go before it told
     private static final long AGAIN_MS = 20;
 
     private final Io io;
@@ -81,7 +81,7 @@
             Thread.sleep(1);
         }
         if (taking.given(locked) != Taking.Step.TAKE) {
-            link.close();   // so the older one has its work back
+            link.close(); // so the older one has its work back
             return null;
         }
         return new Won(owner, link, given);
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/wiring/Daemon.java
@@ -43,13 +43,15 @@
 
 /** One dispatcher, in the order of its life: start, recovery, readiness, reload, drain. */
 public final class Daemon implements Succession.Estate {
-    private static final long COMING_NS = 500 * Clock.MS;           // clients may still connect after SIGTERM
-    private static final long END_NS = 3_300 * Clock.MS;            // SIGKILL follows from 3.7 s
-    private static final long PARTING_NS = 500 * Clock.MS, PARTED_NS = 200 * Clock.MS;   // for clients to end their side; and beyond the end
-    private static final long KEPT_NS = 700 * Clock.MS, AGAIN_NS = 50 * Clock.MS;   // idle clients in a drain: from when, how often
+    private static final long COMING_NS = 500 * Clock.MS; // clients may still connect after SIGTERM
+    private static final long END_NS = 3_300 * Clock.MS; // SIGKILL follows from 3.7 s
+    private static final long PARTING_NS = 500 * Clock.MS,
+            PARTED_NS = 200 * Clock.MS; // for clients to end their side; and beyond the end
+    private static final long KEPT_NS = 700 * Clock.MS,
+            AGAIN_NS = 50 * Clock.MS; // idle clients in a drain: from when, how often
     private static final int MOST_LIST = 1 << 20;
     private static final long LOOK_NS = 20 * Clock.MS;
-    private static final long UNASKED_NS = 10_000 * Clock.MS;       // for clients of a process that has passed its work on
+    private static final long UNASKED_NS = 10_000 * Clock.MS; // for clients of a process that has passed its work on
 
     private final Config config;
     private final Io io;
@@ -61,14 +63,14 @@
     private final Settings settings;
     private final Journal journal;
     private final Connections upstream;
-    private final ServerSocketChannel inherited;   // null: it listens by itself
+    private final ServerSocketChannel inherited; // null: it listens by itself
     private final Accession.Won won;
     private final Succession succession;
-    private Passing passing;           // null until another process has the work
-    private long endsBy;               // once it has: when this one ends at the latest
+    private Passing passing; // null until another process has the work
+    private long endsBy; // once it has: when this one ends at the latest
     private final Lifecycle life = new Lifecycle();
-    private final ControlServer control;   // null where there is none
-    private boolean looking;          // for connections of clients that stand idle in a drain
+    private final ControlServer control; // null where there is none
+    private boolean looking; // for connections of clients that stand idle in a drain
     private final Rereading rereading;
     private final Neighbours neighbours;
     private final List<Server> servers = new ArrayList<>();
@@ -86,7 +88,10 @@
         Io io = new Io(clock);
         ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
         Accession.Won won = Accession.seek(io, config);
-        Journal journal = new Journal(config.state(), config.limits().diskBytes() - Handover.aside(config.limits().diskBytes()), clock);
+        Journal journal = new Journal(
+                config.state(),
+                config.limits().diskBytes() - Handover.aside(config.limits().diskBytes()),
+                clock);
         io.run(() -> {
             try {
                 new Daemon(config, told, settingsFile, journal, io, control, inherited, won, born).begin(variables);
@@ -118,8 +123,17 @@
         return socket;
     }
 
-    private Daemon(Config config, OperatorFile.Read told, Path settingsFile, Journal journal, Io io, ControlServer control,
-                   ServerSocketChannel inherited, Accession.Won won, long born) throws IOException {
+    private Daemon(
+            Config config,
+            OperatorFile.Read told,
+            Path settingsFile,
+            Journal journal,
+            Io io,
+            ControlServer control,
+            ServerSocketChannel inherited,
+            Accession.Won won,
+            long born)
+            throws IOException {
         EventConfig events = told.events();
         this.settings = told.settings();
         this.settingsFile = settingsFile;
@@ -148,7 +162,7 @@
         OneOrder order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
         EventsWiring second = null;
         int eventClients = 0;
-        if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) {   // else none of its classes is loaded
+        if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) { // else none of its classes is loaded
             second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rereading.rules(), order);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
@@ -163,8 +177,15 @@
 
     private Server server(int eventClients) throws IOException {
         Limits limits = config.limits();
-        return new Server(io, config.listen(), inherited, PlatformFront.MOST_BODY, limits.downstream() - eventClients,
-                limits.reading(), null, this::handle);
+        return new Server(
+                io,
+                config.listen(),
+                inherited,
+                PlatformFront.MOST_BODY,
+                limits.downstream() - eventClients,
+                limits.reading(),
+                null,
+                this::handle);
     }
 
     private void handle(Server.Request request, Server.Answerer to) {
@@ -182,8 +203,13 @@
                 relay.handover().remember();
             }
             discovery.known(config.known());
-            relay.recover(front::owed, () -> WarmPath.walk(io, servers.get(0).address(), config.settings().names("services").get(0),
-                    this::ready));
+            relay.recover(
+                    front::owed,
+                    () -> WarmPath.walk(
+                            io,
+                            servers.get(0).address(),
+                            config.settings().names("services").get(0),
+                            this::ready));
         } else {
             takeOver(won.given());
             if (remembers()) {
@@ -192,25 +218,38 @@
         }
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
-            Operators operators = new Operators(relay, life, config.settings().names("services"), this::lameDuck, this::rejoin,
-                    neighbours.leases() ? neighbours::told : null, neighbours.versions() == null ? null : c -> neighbours.versions().told(c));
+            Operators operators = new Operators(
+                    relay,
+                    life,
+                    config.settings().names("services"),
+                    this::lameDuck,
+                    this::rejoin,
+                    neighbours.leases() ? neighbours::told : null,
+                    neighbours.versions() == null
+                            ? null
+                            : c -> neighbours.versions().told(c));
             control.handler(c -> succession.state() == Giving.State.GIVEN && !(c instanceof Command.Info)
-                    ? Verdict.no("this process passes its work on; ask the newer one, or again") : operators.carryOut(c));
+                    ? Verdict.no("this process passes its work on; ask the newer one, or again")
+                    : operators.carryOut(c));
             System.err.println("control on " + control.address());
         }
-        Reload.onHangUp(() -> rereading.hangUp(variables), io::run, List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
+        Reload.onHangUp(
+                () -> rereading.hangUp(variables),
+                io::run,
+                List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
     }
 
     /** Whether what is learned outlasts the process. */
     private boolean remembers() {
-        return settings.get(Keys.STATE_LEARNED).equals("kept") && Handover.aside(config.limits().diskBytes()) > 0;
+        return settings.get(Keys.STATE_LEARNED).equals("kept")
+                && Handover.aside(config.limits().diskBytes()) > 0;
     }
 
     private void ready() {
         life.started();
-        System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for " + io.longestAway() / Clock.MS
-                + " ms at most");
+        System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for "
+                + io.longestAway() / Clock.MS + " ms at most");
         if (control != null) {
             succession.listen(config.state());
         }
@@ -219,21 +258,23 @@
     /** Begins with what an older process has passed on, whose calls are still out; the code that is needed has run already. */
     private void takeOver(Frame.Give given) throws IOException {
         Link link = won.link();
-        upstream.most(config.limits().upstream() / 2);   // descriptors are counted for both processes
+        upstream.most(config.limits().upstream() / 2); // descriptors are counted for both processes
         relay.handover().takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
         discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
         if (given.drains() && life.drain()) {
             lameDuck();
         }
         link.send(new Frame.Owned());
-        link.reading(frame -> {
-            if (frame instanceof Frame.Ended e) {
-                io.run(() -> relay.handover().passed(e.passed()));
-            }
-        }, () -> io.run(() -> {
-            upstream.most(config.limits().upstream());
-            relay.handover().unheard();
-        }));
+        link.reading(
+                frame -> {
+                    if (frame instanceof Frame.Ended e) {
+                        io.run(() -> relay.handover().passed(e.passed()));
+                    }
+                },
+                () -> io.run(() -> {
+                    upstream.most(config.limits().upstream());
+                    relay.handover().unheard();
+                }));
         relay.recover(front::owed, this::ready);
     }
 
@@ -257,7 +298,7 @@
                 s.accept();
             }
             neighbours.join();
-        } catch (IOException e) {   // the address is another's: this process is of no use any more
+        } catch (IOException e) { // the address is another's: this process is of no use any more
             System.err.println("upgrade: " + e);
             Runtime.getRuntime().halt(1);
         }
@@ -273,7 +314,9 @@
     public void leave() {
         life.end();
         servers.forEach(s -> s.closing(true));
-        servers.stream().skip(1).forEach(Server::closeConnections);   // clients of events ask again, with the same identity
+        servers.stream()
+                .skip(1)
+                .forEach(Server::closeConnections); // clients of events ask again, with the same identity
         passing.open();
         endsBy = io.clock.now() + UNASKED_NS;
         io.at(io.clock.now() + COMING_NS, this::left);
@@ -343,17 +386,21 @@
                 servers.forEach(s -> s.closing(true));
                 relay.closing(start + END_NS);
                 System.err.println("draining");
-                io.at(start + COMING_NS, () -> io.afterReading(() -> {   // who has come is taken: a closed socket resets them
-                    servers.forEach(Server::stopAccepting);
-                    settle(start + END_NS, ended);
-                }));
+                io.at(
+                        start + COMING_NS,
+                        () -> io.afterReading(
+                                () -> { // who has come is taken: a closed socket resets them
+                                    servers.forEach(Server::stopAccepting);
+                                    settle(start + END_NS, ended);
+                                }));
             }
         }
     }
 
     private void settle(long end, CountDownLatch ended) {
         boolean settled = relay.held() == 0 && front.owed() == 0;
-        if (unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS) || io.clock.now() > end) {
+        if (unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS)
+                || io.clock.now() > end) {
             part(Math.min(io.clock.now() + PARTING_NS, end + PARTED_NS), ended);
             return;
         }
@@ -373,6 +420,6 @@
     }
 
     private int unanswered() {
-        return servers.get(0).unanswered();   // clients of events ask again, with the same identity
+        return servers.get(0).unanswered(); // clients of events ask again, with the same identity
     }
 }
--- a/src/main/java/elderseam/wiring/EventsWiring.java
+++ b/src/main/java/elderseam/wiring/EventsWiring.java
@@ -27,10 +27,18 @@
     private final Limits limits;
     private final EventFront front;
     private final List<Server> servers;
-    private final OneOrder order;   // null where each orders its certificate
+    private final OneOrder order; // null where each orders its certificate
 
-    EventsWiring(Io io, Config config, EventConfig events, Relay relay, Connections upstream, Hosts hosts,
-                 List<Server> servers, Rulings rulings, OneOrder order) {
+    EventsWiring(
+            Io io,
+            Config config,
+            EventConfig events,
+            Relay relay,
+            Connections upstream,
+            Hosts hosts,
+            List<Server> servers,
+            Rulings rulings,
+            OneOrder order) {
         this.io = io;
         this.events = events;
         this.limits = config.limits();
@@ -59,7 +67,13 @@
     }
 
     private Server listen(int most, SSLContext context) throws IOException {
-        Server server = new Server(io, Config.address(events.listen()), EventFront.MOST_BODY, most, limits.reading(), context,
+        Server server = new Server(
+                io,
+                Config.address(events.listen()),
+                EventFront.MOST_BODY,
+                most,
+                limits.reading(),
+                context,
                 front::handle);
         servers.add(server);
         System.err.println("events on " + server.address());
@@ -69,7 +83,10 @@
     /** The events' listener opens with its first certificate, and gets each later one. */
     private void certify(int most) throws IOException {
         Server[] secure = new Server[1];
-        Certificates certificates = new Certificates(events.directory(), events.names(), events.folder(),
+        Certificates certificates = new Certificates(
+                events.directory(),
+                events.names(),
+                events.folder(),
                 context -> io.run(() -> {
                     try {
                         if (secure[0] == null) {
@@ -80,11 +97,18 @@
                     } catch (IOException e) {
                         System.err.println("events: " + e);
                     }
-                }), order);
+                }),
+                order);
         if (order != null) {
             order.serves(certificates);
         }
-        servers.add(new Server(io, Config.address(events.challenges()), 1 << 10, most, limits.reading(), null,
+        servers.add(new Server(
+                io,
+                Config.address(events.challenges()),
+                1 << 10,
+                most,
+                limits.reading(),
+                null,
                 (r, to) -> challenge(certificates, r, to, io.clock.now() + HEARD_NS)));
         certificates.start();
     }
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/wiring/FleetWiring.java
@@ -34,21 +34,21 @@
  * neither the engine's start nor its waiting touches the I/O thread: messages are served while the group has no majority.
  */
 final class FleetWiring {
-    private static final long AGAIN_MS = 250;   // another process may have the address and the folder yet
+    private static final long AGAIN_MS = 250; // another process may have the address and the folder yet
 
-    private static final long LEAVING_MS = 1_000;   // of the 3.3 s that a drain has
+    private static final long LEAVING_MS = 1_000; // of the 3.3 s that a drain has
     private static final long LOOK_NS = 250 * Clock.MS;
 
     private final Io io;
     private final Clock clock;
-    private final OneWatch watch;   // each null where it is off; both of the I/O thread
+    private final OneWatch watch; // each null where it is off; both of the I/O thread
     private final OneTrial trials;
     private final OneOrder order;
     private final VersionsWiring versions;
     private final Settings settings;
     private final Path folder;
     private final long seed;
-    private final History history;   // null but in rehearsals
+    private final History history; // null but in rehearsals
     private volatile LeaseGroup group;
     private volatile LeaseHolder holder;
     private volatile String leader = "";
@@ -65,14 +65,18 @@
         String told = settings.get(Keys.FLEET_FOLDER), record = settings.get(Keys.REHEARSAL_HISTORY);
         this.folder = told.isEmpty() ? state.resolve("fleet") : Path.of(told);
         this.history = record.isEmpty() ? null : new History(Path.of(record), settings.get(Keys.FLEET_NAME));
-        this.watch = settings.get(Keys.FLEET_DISCOVERY).equals("one") ? new OneWatch(clock, work.discovery(), this) : null;
+        this.watch =
+                settings.get(Keys.FLEET_DISCOVERY).equals("one") ? new OneWatch(clock, work.discovery(), this) : null;
         this.trials = settings.get(Keys.FLEET_TRIALS).equals("one")
-                ? new OneTrial(clock, work.relay(), work.hosts(), this, 2 * settings.get(Keys.FLEET_TTL_MS) * Clock.MS) : null;
+                ? new OneTrial(clock, work.relay(), work.hosts(), this, 2 * settings.get(Keys.FLEET_TTL_MS) * Clock.MS)
+                : null;
         this.order = work.order();
         if (order != null) {
             order.joins(this);
         }
-        this.versions = settings.get(Keys.FLEET_VERSIONS_BOUND_MS) > 0 ? new VersionsWiring(io, settings, state, work.reader(), history) : null;
+        this.versions = settings.get(Keys.FLEET_VERSIONS_BOUND_MS) > 0
+                ? new VersionsWiring(io, settings, state, work.reader(), history)
+                : null;
         if (watch != null || trials != null) {
             io.at(clock.now() + LOOK_NS, this::look);
         }
@@ -136,7 +140,7 @@
             } catch (IOException | RuntimeException e) {
                 System.err.println("fleet: not begun yet: " + e);
                 try {
-                    Thread.sleep(AGAIN_MS);   // the process before this one tells nobody when it has ended
+                    Thread.sleep(AGAIN_MS); // the process before this one tells nobody when it has ended
                 } catch (InterruptedException ended) {
                     return;
                 }
@@ -146,10 +150,21 @@
 
     private void begin() throws IOException {
         Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
-        settings.get(Keys.FLEET_MEMBERS).forEach(m -> peers.put(m.substring(0, m.indexOf('=')), Config.address(m.substring(m.indexOf('=') + 1))));
-        String life = Long.toString(clock.wallMs(), 36) + "-" + ProcessHandle.current().pid();
-        LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(settings.get(Keys.FLEET_GROUP), settings.get(Keys.FLEET_NAME),
-                Config.address(settings.get(Keys.FLEET_LISTEN)), peers, folder, settings.get(Keys.FLEET_ELECTION_MS), life, clock::now, new Learnt(),
+        settings.get(Keys.FLEET_MEMBERS)
+                .forEach(m ->
+                        peers.put(m.substring(0, m.indexOf('=')), Config.address(m.substring(m.indexOf('=') + 1))));
+        String life = Long.toString(clock.wallMs(), 36) + "-"
+                + ProcessHandle.current().pid();
+        LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(
+                settings.get(Keys.FLEET_GROUP),
+                settings.get(Keys.FLEET_NAME),
+                Config.address(settings.get(Keys.FLEET_LISTEN)),
+                peers,
+                folder,
+                settings.get(Keys.FLEET_ELECTION_MS),
+                life,
+                clock::now,
+                new Learnt(),
                 LeaseGroup.SNAPSHOT_EVERY));
         group = begun;
         if (left) {
@@ -157,15 +172,23 @@
             return;
         }
         Tenure.Bounds bounds = new Tenure.Bounds(settings.get(Keys.FLEET_DRIFT_PERCENT) / 100.0);
-        SplittableRandom random = new SplittableRandom(seed ^ settings.get(Keys.FLEET_NAME).hashCode());
-        holder = new LeaseHolder(begun, leases(), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
+        SplittableRandom random =
+                new SplittableRandom(seed ^ settings.get(Keys.FLEET_NAME).hashCode());
+        holder = new LeaseHolder(
+                begun, leases(), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
         if (versions != null) {
             versions.joins(begun);
         }
         System.err.println("fleet: " + begun.holder() + " on " + settings.get(Keys.FLEET_LISTEN));
         if (!settings.get(Keys.REHEARSAL_STORE).equals("off")) {
-            new Acts(Config.address(settings.get(Keys.REHEARSAL_STORE)), begun.holder(), settings.get(Keys.FLEET_LEASES), holder::tenure,
-                    settings.get(Keys.REHEARSAL_ACT_MS) * Clock.MS, clock::now, history);
+            new Acts(
+                    Config.address(settings.get(Keys.REHEARSAL_STORE)),
+                    begun.holder(),
+                    settings.get(Keys.FLEET_LEASES),
+                    holder::tenure,
+                    settings.get(Keys.REHEARSAL_ACT_MS) * Clock.MS,
+                    clock::now,
+                    history);
         }
     }
 
@@ -232,12 +255,30 @@
             if (outcome == null) {
                 history.add("unknown", "lease", lease, "holder", group.holder());
             } else if (!outcome.granted()) {
-                history.add("refused", "lease", lease, "holder", group.holder(), "by", outcome.holder(), "token", outcome.token());
-            } else {   // until when it will believe to hold, as the machine's clock will show that instant
+                history.add(
+                        "refused",
+                        "lease",
+                        lease,
+                        "holder",
+                        group.holder(),
+                        "by",
+                        outcome.holder(),
+                        "token",
+                        outcome.token());
+            } else { // until when it will believe to hold, as the machine's clock will show that instant
                 double rate = settings.get(Keys.REHEARSAL_CLOCK_PERCENT) / 100.0;
                 long at = System.nanoTime();
-                history.at(at, "granted", "lease", lease, "holder", group.holder(), "token", tenure.token(),
-                        "until_ns", at + (long) ((tenure.untilNs() - clock.now()) / rate));
+                history.at(
+                        at,
+                        "granted",
+                        "lease",
+                        lease,
+                        "holder",
+                        group.holder(),
+                        "token",
+                        tenure.token(),
+                        "until_ns",
+                        at + (long) ((tenure.untilNs() - clock.now()) / rate));
             }
         }
     }
@@ -254,16 +295,22 @@
             return Verdict.no("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
-            now.members(command.members()).whenComplete((done, e) -> System.err.println("fleet: members "
-                    + String.join(" ", command.members().keySet()) + (e == null ? " agreed" : ": not agreed: " + e.getMessage())));
+            now.members(command.members())
+                    .whenComplete((done, e) -> System.err.println("fleet: members "
+                            + String.join(" ", command.members().keySet())
+                            + (e == null ? " agreed" : ": not agreed: " + e.getMessage())));
             return Verdict.yes("asked; FLEET tells when it is so");
         }
         try {
-            List<String> lines = new ArrayList<>(List.of("self=" + now.holder(), "leader=" + leader, "members=" + String.join(" ", now.members())));
+            List<String> lines = new ArrayList<>(
+                    List.of("self=" + now.holder(), "leader=" + leader, "members=" + String.join(" ", now.members())));
             for (String lease : leases()) {
                 Tenure t = holder.tenure(lease);
                 boolean holds = t != null && t.mayAct(clock.now(), clock.now());
-                lines.add("lease." + lease + "=" + (holds ? "held token " + t.token() + " for " + (t.untilNs() - clock.now()) / Clock.MS + " ms" : "not held"));
+                lines.add("lease." + lease + "="
+                        + (holds
+                                ? "held token " + t.token() + " for " + (t.untilNs() - clock.now()) / Clock.MS + " ms"
+                                : "not held"));
             }
             lines.add("EOF");
             return new Verdict(true, "fleet", lines);
@@ -279,16 +326,21 @@
             versions.leave();
         }
         CompletableFuture<Void> givenBack = holder == null ? CompletableFuture.completedFuture(null) : holder.leave();
-        Thread end = new Thread(() -> {
-            try {
-                givenBack.exceptionally(e -> null).completeOnTimeout(null, LEAVING_MS, TimeUnit.MILLISECONDS).join();   // else the others wait for its term
-                if (group != null) {
-                    group.close();
-                }
-            } catch (IOException e) {
-                System.err.println("fleet: " + e);
-            }
-        }, "fleet-end");
+        Thread end = new Thread(
+                () -> {
+                    try {
+                        givenBack
+                                .exceptionally(e -> null)
+                                .completeOnTimeout(null, LEAVING_MS, TimeUnit.MILLISECONDS)
+                                .join(); // else the others wait for its term
+                        if (group != null) {
+                            group.close();
+                        }
+                    } catch (IOException e) {
+                        System.err.println("fleet: " + e);
+                    }
+                },
+                "fleet-end");
         end.setDaemon(true);
         end.start();
     }
--- a/src/main/java/elderseam/wiring/GossipWiring.java
+++ b/src/main/java/elderseam/wiring/GossipWiring.java
@@ -24,8 +24,13 @@
 
 /** Wires the gossip to the relay; where it is off this class is not loaded. */
 final class GossipWiring implements ShareWiring.Members {
-    private static final Map<Sender.Standing, Claim.State> STATES = Map.of(Sender.Standing.CLOSED, Claim.State.CLOSED,
-            Sender.Standing.HALF_OPEN, Claim.State.HALF_OPEN, Sender.Standing.OPEN, Claim.State.OPEN);
+    private static final Map<Sender.Standing, Claim.State> STATES = Map.of(
+            Sender.Standing.CLOSED,
+            Claim.State.CLOSED,
+            Sender.Standing.HALF_OPEN,
+            Claim.State.HALF_OPEN,
+            Sender.Standing.OPEN,
+            Claim.State.OPEN);
 
     private final Opening opening;
     private final Relay relay;
@@ -39,10 +44,21 @@
         this.opening = Opening.read(s);
         this.relay = relay;
         this.weigh = weighs(s);
-        this.post = new Post(io, opening.place(), opening.keys(), Tempo.USUAL, new Post.Ties(this::own, this::advise, words -> System.err.println("gossip: " + words)));
+        this.post = new Post(
+                io,
+                opening.place(),
+                opening.keys(),
+                Tempo.USUAL,
+                new Post.Ties(this::own, this::advise, words -> System.err.println("gossip: " + words)));
         if (!s.get(Keys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
-            GossipLease lease = new GossipLease(opening.place().name(), Long.toString(io.clock.wallMs(), 36), s.get(Keys.REHEARSAL_GOSSIP_LEASE).equals("majority"),
-                    opening.keys().roster().all().size(), new History(Path.of(s.get(Keys.REHEARSAL_HISTORY)), opening.place().name()));
+            GossipLease lease = new GossipLease(
+                    opening.place().name(),
+                    Long.toString(io.clock.wallMs(), 36),
+                    s.get(Keys.REHEARSAL_GOSSIP_LEASE).equals("majority"),
+                    opening.keys().roster().all().size(),
+                    new History(
+                            Path.of(s.get(Keys.REHEARSAL_HISTORY)),
+                            opening.place().name()));
             look(io, lease);
         }
     }
@@ -61,8 +77,12 @@
 
     private List<Agent.Own> own() {
         List<Agent.Own> all = new ArrayList<>();
-        relay.breakers((destination, b) -> all.add(new Agent.Own(destination, STATES.get(b.standing()),
-                (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)), b.calls(), b.failed())));
+        relay.breakers((destination, b) -> all.add(new Agent.Own(
+                destination,
+                STATES.get(b.standing()),
+                (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)),
+                b.calls(),
+                b.failed())));
         return all;
     }
 
@@ -83,8 +103,11 @@
     }
 
     private List<String> others() {
-        return post.members().stream().filter(m -> (m.standing() == Standing.ALIVE || m.standing() == Standing.SUSPECT) && !m.member().equals(self()))
-                .map(Rumour::member).toList();
+        return post.members().stream()
+                .filter(m -> (m.standing() == Standing.ALIVE || m.standing() == Standing.SUSPECT)
+                        && !m.member().equals(self()))
+                .map(Rumour::member)
+                .toList();
     }
 
     @Override
@@ -94,8 +117,8 @@
 
     /** Reads what its settings name; what applies it, whole. */
     Runnable reload(Settings fresh) throws IOException {
-        if (fresh.get(Keys.GOSSIP_LISTEN).equals("off")) {   // from the next start; until then it goes on as it is
-            return () -> { };
+        if (fresh.get(Keys.GOSSIP_LISTEN).equals("off")) { // from the next start; until then it goes on as it is
+            return () -> {};
         }
         Roster roster = Opening.roster(fresh, opening.place().name(), opening.key());
         return () -> {
--- a/src/main/java/elderseam/wiring/Neighbours.java
+++ b/src/main/java/elderseam/wiring/Neighbours.java
@@ -30,8 +30,16 @@
     private FleetWiring fleet;
 
     /** {@code order}: where one member orders the certificate for all, else null; {@code reader}: of versions. */
-    Neighbours(Io io, Config config, Settings settings, Relay relay, Discovery discovery, Hosts hosts, OneOrder order,
-               VersionsWiring.Reader reader) throws IOException {
+    Neighbours(
+            Io io,
+            Config config,
+            Settings settings,
+            Relay relay,
+            Discovery discovery,
+            Hosts hosts,
+            OneOrder order,
+            VersionsWiring.Reader reader)
+            throws IOException {
         this.io = io;
         this.config = config;
         this.settings = settings;
@@ -50,11 +58,19 @@
         gossip = settings.get(Keys.GOSSIP_LISTEN).equals("off") ? null : new GossipWiring(io, settings, relay);
         shares = switch (settings.get(Keys.SHARES_MEMBERS)) {
             case "gossip" -> new ShareWiring(io, settings, relay, hosts, count, gossip);
-            case "told" -> new ShareWiring(io, settings, relay, hosts, count, new ShareWiring.Told((int) told.whole("me", 0), count));
+            case "told" ->
+                new ShareWiring(
+                        io, settings, relay, hosts, count, new ShareWiring.Told((int) told.whole("me", 0), count));
             default -> null;
         };
-        fleet = settings.get(Keys.FLEET_LISTEN).equals("off") ? null
-                : new FleetWiring(io, settings, config.state(), config.seed(), new FleetWiring.Work(relay, discovery, hosts, order, reader));
+        fleet = settings.get(Keys.FLEET_LISTEN).equals("off")
+                ? null
+                : new FleetWiring(
+                        io,
+                        settings,
+                        config.state(),
+                        config.seed(),
+                        new FleetWiring.Work(relay, discovery, hosts, order, reader));
     }
 
     /** Says good-bye to all: the process ends, or its addresses are another's from now on. */
@@ -72,7 +88,7 @@
 
     /** Reads what fresh settings name; what applies it, whole. */
     Runnable reload(Settings fresh) throws IOException {
-        return gossip == null ? () -> { } : gossip.reload(fresh);
+        return gossip == null ? () -> {} : gossip.reload(fresh);
     }
 
     /** Whether there are leases to be asked about. */
--- a/src/main/java/elderseam/wiring/OneOrder.java
+++ b/src/main/java/elderseam/wiring/OneOrder.java
@@ -5,7 +5,6 @@
 import elderseam.acme.Certificates;
 import elderseam.acme.Seal;
 import elderseam.acme.Sharing;
-import elderseam.core.Clock;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.OrderDuty;
 import elderseam.fleet.lease.Tenure;
@@ -26,16 +25,18 @@
  */
 final class OneOrder implements Sharing {
     private static final String LEASE = "certificate:";
-    private static final long PASS_S = 10, LEAST_PATIENCE_MS = 30_000;   // a group that starts has no leader yet
+    private static final long PASS_S = 10, LEAST_PATIENCE_MS = 30_000; // a group that starts has no leader yet
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
-    record Passed(@JsonProperty("sealed") String sealed, @JsonProperty("answers") Map<String, String> answers) {}
+    record Passed(
+            @JsonProperty("sealed") String sealed,
+            @JsonProperty("answers") Map<String, String> answers) {}
 
     private final String lease;
     private final Seal seal;
     private final OrderDuty duty;
-    private volatile FleetWiring fleet;          // null until it is there
+    private volatile FleetWiring fleet; // null until it is there
     private volatile Certificates certificates;
     private volatile Passed newest = new Passed("", Map.of());
 
@@ -65,9 +66,11 @@
     @Override
     public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
         FleetWiring f = fleet;
-        boolean mine = duty.own(now.toEpochMilli(), lastAt.toEpochMilli(), tenure() != null, f != null && f.another(lease));
+        boolean mine =
+                duty.own(now.toEpochMilli(), lastAt.toEpochMilli(), tenure() != null, f != null && f.another(lease));
         if (mine) {
-            System.err.println("fleet: orders the certificate" + (tenure() == null ? " by itself: nobody else has" : ""));
+            System.err.println(
+                    "fleet: orders the certificate" + (tenure() == null ? " by itself: nobody else has" : ""));
         }
         return mine;
     }
@@ -89,7 +92,8 @@
             return false;
         }
         try {
-            LeaseTable.Outcome o = fleet.publish(lease, t, JSON.writeValueAsString(passed)).get(PASS_S, TimeUnit.SECONDS);
+            LeaseTable.Outcome o =
+                    fleet.publish(lease, t, JSON.writeValueAsString(passed)).get(PASS_S, TimeUnit.SECONDS);
             return o.granted();
         } catch (ExecutionException | TimeoutException | IOException | IllegalArgumentException e) {
             System.err.println("fleet: the certificate is not passed on: " + e.getMessage());
--- a/src/main/java/elderseam/wiring/OneTrial.java
+++ b/src/main/java/elderseam/wiring/OneTrial.java
@@ -15,7 +15,7 @@
  */
 final class OneTrial {
     private static final String LEASE = "trial:";
-    private static final long DEFER_NS = 500 * Clock.MS;   // two looks: the next one comes in time
+    private static final long DEFER_NS = 500 * Clock.MS; // two looks: the next one comes in time
     private static final long IDLE_NS = 2_000 * Clock.MS;
 
     private final Clock clock;
@@ -23,7 +23,7 @@
     private final Hosts hosts;
     private final FleetWiring fleet;
     private final long pauseNs;
-    private final Map<Long, TrialDuty> duties = new HashMap<>();   // of destinations that were not closed lately
+    private final Map<Long, TrialDuty> duties = new HashMap<>(); // of destinations that were not closed lately
 
     /** {@code pauseNs}: how long a holder that has nothing to try with leaves the lease to others. */
     OneTrial(Clock clock, Relay relay, Hosts hosts, FleetWiring fleet, long pauseNs) {
@@ -40,7 +40,9 @@
 
     private void look(long destination, Sender.Breaker breaker) {
         boolean closed = breaker.standing() == Sender.Standing.CLOSED;
-        TrialDuty duty = closed ? duties.get(destination) : duties.computeIfAbsent(destination, d -> new TrialDuty(IDLE_NS, pauseNs));
+        TrialDuty duty = closed
+                ? duties.get(destination)
+                : duties.computeIfAbsent(destination, d -> new TrialDuty(IDLE_NS, pauseNs));
         if (duty == null) {
             return;
         }
--- a/src/main/java/elderseam/wiring/OneWatch.java
+++ b/src/main/java/elderseam/wiring/OneWatch.java
@@ -18,7 +18,7 @@
     private final FleetWiring fleet;
     private final Duty duty = new Duty(2 * Discovery.longestNs());
     private boolean watches = true;
-    private Json latest;   // published by whoever watches
+    private Json latest; // published by whoever watches
 
     OneWatch(Clock clock, Discovery discovery, FleetWiring fleet) {
         this.clock = clock;
--- a/src/main/java/elderseam/wiring/OperatorFile.java
+++ b/src/main/java/elderseam/wiring/OperatorFile.java
@@ -16,7 +16,8 @@
 
     static Read read(Path file) throws IOException {
         if (old(file)) {
-            System.err.println(file + ": an events' file of before, its settings are read; " + Keys.FILE + " has taken its place");
+            System.err.println(
+                    file + ": an events' file of before, its settings are read; " + Keys.FILE + " has taken its place");
             return new Read(EventConfig.old(file), Settings.none());
         }
         Settings settings = settings(file);
@@ -25,7 +26,8 @@
 
     /** A file that was not asked for may be absent; one of before tells nothing that could be read again. */
     static Settings settings(Path file) throws IOException {
-        return old(file) || file.equals(Path.of(Keys.FILE)) && !Files.exists(file) ? Settings.none()
+        return old(file) || file.equals(Path.of(Keys.FILE)) && !Files.exists(file)
+                ? Settings.none()
                 : Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
     }
 
--- a/src/main/java/elderseam/wiring/Reload.java
+++ b/src/main/java/elderseam/wiring/Reload.java
@@ -40,8 +40,11 @@
                 }
                 return null;
             };
-            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, read));
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance("HUP"),
+                            Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, read));
             if (before == handler.getField("SIG_IGN").get(null)) {
                 System.err.println("SIGHUP is ignored by whoever started this: its files are looked at instead");
                 Thread looking = new Thread(() -> look(reading, use, files), "reload");
@@ -58,7 +61,7 @@
         while (true) {
             LockSupport.parkNanos(LOOK_NS);
             List<Object> now = marks(files);
-            if (!now.equals(seen)) {   // one that is half written can't be used, and has changed again by the next look
+            if (!now.equals(seen)) { // one that is half written can't be used, and has changed again by the next look
                 seen = now;
                 read(reading, use);
             }
@@ -84,8 +87,10 @@
         try {
             use.accept(reading.read());
         } catch (IOException | RuntimeException e) {
-            String.valueOf(e.getMessage()).lines().limit(MOST_FAULTS).forEach(fault ->
-                    System.err.println("configuration kept, the new one can't be used: " + fault));
+            String.valueOf(e.getMessage())
+                    .lines()
+                    .limit(MOST_FAULTS)
+                    .forEach(fault -> System.err.println("configuration kept, the new one can't be used: " + fault));
         }
     }
 }
--- a/src/main/java/elderseam/wiring/Rereading.java
+++ b/src/main/java/elderseam/wiring/Rereading.java
@@ -33,12 +33,12 @@
     private final Config config;
     private final Settings settings;
     private final Path file;
-    private Config moved;                  // as SIGHUP read it last
-    private volatile Rules rules;          // null while there are none
+    private Config moved; // as SIGHUP read it last
+    private volatile Rules rules; // null while there are none
     private PlatformFront front;
-    private EventsWiring second;           // null while it is off
+    private EventsWiring second; // null while it is off
     private Discovery discovery;
-    private Neighbours neighbours;         // null while they are made
+    private Neighbours neighbours; // null while they are made
 
     /** {@code settings}: those of the start, from {@code file}. */
     Rereading(Ties ties, Config config, Settings settings, Path file) throws IOException {
@@ -47,7 +47,8 @@
         this.settings = settings;
         this.file = file;
         this.moved = config;
-        boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty() || !ties.journal.schemes().isEmpty();
+        boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty()
+                || !ties.journal.schemes().isEmpty();
         rules = ruled ? rules(RulesWiring.load(config.settings(), settings)) : null;
     }
 
@@ -84,14 +85,15 @@
         VersionsWiring versions = neighbours.versions();
         boolean agreed = versions != null && versions.acting().number() > 0;
         Settings told = OperatorFile.settings(file), counts = agreed ? merged(versions.texts()) : told;
-        Runnable rest = neighbours.reload(told), ruling = agreed ? () -> { } : ruling(told);
+        Runnable rest = neighbours.reload(told), ruling = agreed ? () -> {} : ruling(told);
         List<String> later = settings.changed(told, Keys.ALL, false);
         return () -> {
             moved = fresh;
             move(counts);
             rest.run();
             ruling.run();
-            System.err.println("configuration read again, discovery at " + discovery(counts).address()
+            System.err.println("configuration read again, discovery at "
+                    + discovery(counts).address()
                     + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
         };
     }
@@ -136,7 +138,7 @@
             return rules.reload(told);
         }
         if (told.get(Keys.RULES_FILES).isEmpty()) {
-            return () -> { };
+            return () -> {};
         }
         var loaded = RulesWiring.load(config.settings(), told);
         return () -> {
--- a/src/main/java/elderseam/wiring/RulesWiring.java
+++ b/src/main/java/elderseam/wiring/RulesWiring.java
@@ -13,7 +13,6 @@
 import elderseam.rules.Extent;
 import elderseam.rules.Loader;
 import elderseam.rules.Names;
-import elderseam.rules.Rulebook;
 import elderseam.rules.Scheme;
 import elderseam.rules.Surroundings;
 import elderseam.settings.Keys;
@@ -21,7 +20,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,7 +37,7 @@
     private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
     private long breakersAt = Long.MIN_VALUE / 2;
     private volatile int earlier;
-    private volatile Scheme current;   // read by the signal's thread
+    private volatile Scheme current; // read by the signal's thread
 
     /** Reads, checks and tests the rules, on any thread; null where no files are named. */
     static Loader.Loaded load(SettingsMap settings, Settings operator) throws IOException {
@@ -64,7 +62,11 @@
         this.journal = journal;
         Names names = names(settings);
         this.module = settings.settings();
-        this.decider = new Decider(module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(), module.maxRetryAfterNs(), module.mostHeld(), this,
+        this.decider = new Decider(
+                module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(),
+                module.maxRetryAfterNs(),
+                module.mostHeld(),
+                this,
                 words -> System.err.println(words));
         for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
             Scheme scheme = new Scheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
@@ -91,8 +93,12 @@
         decider.put(loaded == null ? null : loaded.book());
         earlier = decider.remembered();
         current = scheme;
-        System.err.println("rules: " + (loaded == null ? "none" : loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
-                + loaded.bound() + " units a request") + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
+        System.err.println("rules: "
+                + (loaded == null
+                        ? "none"
+                        : loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
+                                + loaded.bound() + " units a request")
+                + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
         return true;
     }
 
@@ -107,13 +113,14 @@
         Loader.Loaded loaded = load(settings, fresh);
         Scheme next = loaded == null ? null : loaded.book().scheme();
         if (earlier >= Decider.MOST_REMEMBERED && current != null && !current.equals(next)) {
-            throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: " + Decider.MOST_REMEMBERED
-                    + "; new ones within rules.remember_s of the oldest");
+            throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: "
+                    + Decider.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
         }
         return () -> {
             System.err.println("rules: " + decider.counts());
             if (!put(loaded)) {
-                System.err.println("rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
+                System.err.println(
+                        "rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
             }
         };
     }
@@ -121,14 +128,16 @@
     @Override
     public Ruled rule(Stream.Message m, Facts facts) {
         long now = io.clock.now();
-        if (m.destination() == Relay.NOWHERE) {   // the warm path's
+        if (m.destination() == Relay.NOWHERE) { // the warm path's
             return new Ruled(m, List.of(), null, "");
         }
         Decider.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
         if (!d.fault().isEmpty()) {
             return new Ruled(m, List.of(), null, d.fault());
         }
-        boolean known = relay.knows(m.id()) || (!d.message().same().isEmpty() || !d.also().isEmpty()) && relay.knows(d.message().same(), d.also());
+        boolean known = relay.knows(m.id())
+                || (!d.message().same().isEmpty() || !d.also().isEmpty())
+                        && relay.knows(d.message().same(), d.also());
         long wait = known ? 0 : decider.admit(now);
         return new Ruled(d.message(), d.also(), wait > 0 ? Answer.refused(wait) : null, "");
     }
@@ -148,7 +157,9 @@
     @Override
     public Breaker breaker(long destination) {
         Sender.Breaker b = look(destination);
-        return b == null || b.standing() == Sender.Standing.CLOSED ? Breaker.CLOSED : b.standing() == Sender.Standing.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
+        return b == null || b.standing() == Sender.Standing.CLOSED
+                ? Breaker.CLOSED
+                : b.standing() == Sender.Standing.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
     }
 
     @Override
@@ -169,6 +180,8 @@
 
     @Override
     public double share(int tenant) {
-        return tenant < 0 || tenant >= module.tenantRates().size() ? 0 : module.tenantRates().get(tenant) / Math.max(1, module.senders());
+        return tenant < 0 || tenant >= module.tenantRates().size()
+                ? 0
+                : module.tenantRates().get(tenant) / Math.max(1, module.senders());
     }
 }
--- a/src/main/java/elderseam/wiring/ShareWiring.java
+++ b/src/main/java/elderseam/wiring/ShareWiring.java
@@ -47,7 +47,9 @@
 
         @Override
         public List<String> present() {
-            return java.util.stream.IntStream.range(0, count).mapToObj(Told::name).toList();
+            return java.util.stream.IntStream.range(0, count)
+                    .mapToObj(Told::name)
+                    .toList();
         }
 
         @Override
@@ -107,7 +109,10 @@
             names = present;
             known = ids;
             preferred = Subsets.preferred(members.self(), names, listed, connections, each);
-            relay.part(sharers, e -> preferred.contains(e) || !known.contains(e), retries);   // one that is new is not passed over
+            relay.part(
+                    sharers,
+                    e -> preferred.contains(e) || !known.contains(e),
+                    retries); // one that is new is not passed over
         }
         if (turns) {
             relay.breakers(this::turn);
@@ -117,13 +122,16 @@
 
     private void turn(long destination, Sender.Breaker breaker) {
         TurnDuty.Standing own = standing(breaker.standing());
-        TurnDuty duty = own == TurnDuty.Standing.CLOSED ? duties.remove(destination)
+        TurnDuty duty = own == TurnDuty.Standing.CLOSED
+                ? duties.remove(destination)
                 : duties.computeIfAbsent(destination, d -> new TurnDuty(Long.toString(d), members.self(), IDLE_NS));
         if (duty == null || own == TurnDuty.Standing.CLOSED) {
             return;
         }
-        List<TurnDuty.Other> others = members.claims(destination).stream().filter(c -> !c.reporter().equals(members.self()))
-                .map(c -> new TurnDuty.Other(c.reporter(), standing(c.state()))).toList();
+        List<TurnDuty.Other> others = members.claims(destination).stream()
+                .filter(c -> !c.reporter().equals(members.self()))
+                .map(c -> new TurnDuty.Other(c.reporter(), standing(c.state())))
+                .toList();
         if (duty.defers(io.clock.now(), own, others)) {
             relay.defer(hosts.of(destination), DEFER_NS);
         }
--- a/src/main/java/elderseam/wiring/Standby.java
+++ b/src/main/java/elderseam/wiring/Standby.java
@@ -29,19 +29,27 @@
     static void warm(Io io, Config config, Runnable then) {
         try {
             Journal journal = new Journal(new MemoryStore(), 1 << 20, io.clock);
-            Relay relay = new Relay(config.settings().settings(), config.seed(), journal, io.clock, io, words -> { });
+            Relay relay = new Relay(config.settings().settings(), config.seed(), journal, io.clock, io, words -> {});
             Hosts hosts = new Hosts(config.settings());
             Connections few = new Connections(io, 1, FEW, PlatformFront.MOST_BODY);
-            PlatformFront front = new PlatformFront(io, few, new UpstreamHost("none", ""), relay, config.settings(), null, new Lifecycle());
+            PlatformFront front = new PlatformFront(
+                    io, few, new UpstreamHost("none", ""), relay, config.settings(), null, new Lifecycle());
             relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, few, hosts, config.settings()));
             relay.hosts(Sender.ListKind.CACHED, hosts.decode(config.known().at("servers"), true));
-            Server server = new Server(io, new InetSocketAddress(config.listen().getAddress(), 0), PlatformFront.MOST_BODY, FEW,
-                    config.limits().reading(), null, front::handle);
-            WarmPath.walk(io, server.address(), config.settings().names("services").get(0), () -> {
-                server.stopAccepting();
-                server.closeConnections();
-                then.run();
-            });
+            Server server = new Server(
+                    io,
+                    new InetSocketAddress(config.listen().getAddress(), 0),
+                    PlatformFront.MOST_BODY,
+                    FEW,
+                    config.limits().reading(),
+                    null,
+                    front::handle);
+            WarmPath.walk(
+                    io, server.address(), config.settings().names("services").get(0), () -> {
+                        server.stopAccepting();
+                        server.closeConnections();
+                        then.run();
+                    });
         } catch (IOException | RuntimeException e) {
             System.err.println("standby: not warm: " + e);
             then.run();
--- a/src/main/java/elderseam/wiring/Succession.java
+++ b/src/main/java/elderseam/wiring/Succession.java
@@ -37,7 +37,7 @@
     private final Owner owner;
     private final Estate estate;
     private final Giving giving = new Giving();
-    private final List<Handover.Passed> heard = new ArrayList<>();   // since it was given; as many as calls were out
+    private final List<Handover.Passed> heard = new ArrayList<>(); // since it was given; as many as calls were out
     private Link link;
     private ServerSocketChannel links;
 
@@ -97,7 +97,7 @@
         });
         try {
             owner.release();
-        } catch (IOException e) {   // the other process will not get it, and gives up
+        } catch (IOException e) { // the other process will not get it, and gives up
             System.err.println("upgrade: " + e);
         }
         link.send(all);
@@ -117,7 +117,7 @@
                 System.err.println("the newer process ended; this one has passed its work on, and ends too");
                 Runtime.getRuntime().halt(1);
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/elderseam/wiring/Training.java
+++ b/src/main/java/elderseam/wiring/Training.java
@@ -10,7 +10,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -38,7 +37,7 @@
 
     private final Io io = new Io(new Clock());
     private final Path folder = Files.createTempDirectory("elderseam-training");
-    private String address;   // of all the outside
+    private String address; // of all the outside
     private int answered;
 
     private Training() throws IOException {}
@@ -48,16 +47,32 @@
     }
 
     private void live() throws Exception {
-        Server partner = new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1 << 20, 64, 1 << 20, null,
+        Server partner = new Server(
+                io,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                1 << 20,
+                64,
+                1 << 20,
+                null,
                 this::partner);
         address = text(partner.address());
         String listen = text(free());
         Path config = folder.resolve("config.json"), state = Files.createDirectory(folder.resolve("state"));
-        Files.writeString(config, "{\"seed\":\"1\",\"discovery\":\"" + address + "\",\"limits\":{\"sockets\":256,"
-                + "\"memory_mb\":128,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":[" + server(address)
-                + "]},\"settings\":" + SETTINGS + "}");
-        Map<String, String> variables = Map.of("RELAY_LISTEN", listen, "RELAY_DISCOVERY", address, "RELAY_STATE",
-                state.toString(), "RELAY_CONFIG", config.toString());
+        Files.writeString(
+                config,
+                "{\"seed\":\"1\",\"discovery\":\"" + address + "\",\"limits\":{\"sockets\":256,"
+                        + "\"memory_mb\":128,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":["
+                        + server(address)
+                        + "]},\"settings\":" + SETTINGS + "}");
+        Map<String, String> variables = Map.of(
+                "RELAY_LISTEN",
+                listen,
+                "RELAY_DISCOVERY",
+                address,
+                "RELAY_STATE",
+                state.toString(),
+                "RELAY_CONFIG",
+                config.toString());
         Runtime.getRuntime().addShutdownHook(new Thread(this::clean, "clean"));
         Daemon.serve(variables, Files.writeString(folder.resolve("elderseam.ini"), "# nothing is told\n"));
         Connections client = new Connections(io, PATIENCE_NS, 8, 1 << 10);
@@ -71,16 +86,35 @@
             return;
         }
         long by = io.clock.now() + 500 * Clock.MS;
-        client.send(to, new Call("POST", n % 3 == 0 ? "/pay" : "/say", Map.of("X-Txn", "t" + n, "X-Org", "org", "X-Remaining",
-                "1200m", "X-Addressing", "dest=1", "Idempotency-Key", "k" + n), new byte[n * 8]), by, by,
+        client.send(
+                to,
+                new Call(
+                        "POST",
+                        n % 3 == 0 ? "/pay" : "/say",
+                        Map.of(
+                                "X-Txn",
+                                "t" + n,
+                                "X-Org",
+                                "org",
+                                "X-Remaining",
+                                "1200m",
+                                "X-Addressing",
+                                "dest=1",
+                                "Idempotency-Key",
+                                "k" + n),
+                        new byte[n * 8]),
+                by,
+                by,
                 reply -> io.at(io.clock.now() + 5 * Clock.MS, () -> send(client, to, n + 1)));
     }
 
     /** All the outside there is. */
     private void partner(Server.Request r, Server.Answerer to) {
         if (r.path().startsWith("/registry")) {
-            io.at(io.clock.now() + 200 * Clock.MS, () -> to.answer(200, Map.of(),
-                    "{\"version\":2,\"full\":true,\"servers\":[" + server(address) + "]}"));
+            io.at(
+                    io.clock.now() + 200 * Clock.MS,
+                    () -> to.answer(
+                            200, Map.of(), "{\"version\":2,\"full\":true,\"servers\":[" + server(address) + "]}"));
         } else if (r.path().equals("/status")) {
             to.answer(204, Map.of(), "");
         } else {
@@ -96,7 +130,8 @@
     }
 
     private static String server(String address) {
-        return "{\"id\":\"s1\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":1,\"state\":\"SERVING\","
+        return "{\"id\":\"s1\",\"addr\":\"" + address
+                + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":1,\"state\":\"SERVING\","
                 + "\"weight\":100.0,\"started_ms\":0}";
     }
 
@@ -112,7 +147,7 @@
                 Files.deleteIfExists(file);
             }
         } catch (IOException e) {
-            System.err.println("training: " + e);   // what is left is in the temporary folder
+            System.err.println("training: " + e); // what is left is in the temporary folder
         }
     }
 }
--- a/src/main/java/elderseam/wiring/VersionsWiring.java
+++ b/src/main/java/elderseam/wiring/VersionsWiring.java
@@ -49,17 +49,17 @@
     private final Settings settings;
     private final VersionFolder folder;
     private final Reader reader;
-    private final History history;   // null but in rehearsals
-    private final VersionRule rule;  // under its own lock: the I/O thread asks it, the confirming thread tells it
+    private final History history; // null but in rehearsals
+    private final VersionRule rule; // under its own lock: the I/O thread asks it, the confirming thread tells it
     private final boolean refuses, sure, atOnce;
     private final long boundMs, leadMs;
     private volatile LeaseGroup group;
-    private volatile String fault = "";   // why this member can't act on what is committed
+    private volatile String fault = ""; // why this member can't act on what is committed
     private volatile String refused = ""; // the last proposal made here that was refused, and why
     private volatile boolean left;
-    private boolean doubts = true;        // of the I/O thread
+    private boolean doubts = true; // of the I/O thread
     private Thread thread;
-    private long looked, kept;            // the highest number whose proposal was checked here, and that is in the folder
+    private long looked, kept; // the highest number whose proposal was checked here, and that is in the folder
 
     VersionsWiring(Io io, Settings s, Path state, Reader reader, History history) throws IOException {
         this.io = io;
@@ -117,7 +117,7 @@
     }
 
     private final class Guard implements Rulings {
-        private final Rulings rules;   // null while there are none
+        private final Rulings rules; // null while there are none
         private final Predicate<String> known;
 
         Guard(Rulings rules, Predicate<String> known) {
@@ -131,7 +131,9 @@
                 return new Ruled(message, List.of(), Answer.refused(boundMs * Clock.MS), "");
             }
             boolean told = message.cls() >= 0 && message.destination() >= 0;
-            return rules != null ? rules.rule(message, facts) : new Ruled(message, List.of(), null, told ? "" : "the message tells no class or destination");
+            return rules != null
+                    ? rules.rule(message, facts)
+                    : new Ruled(message, List.of(), null, told ? "" : "the message tells no class or destination");
         }
     }
 
@@ -151,7 +153,10 @@
         boolean now = inDoubt();
         if (now != doubts) {
             doubts = now;
-            System.err.println("versions: " + (now ? "in doubt, " + (refuses ? "new work is refused" : "the last one is acted on") : "sure of " + words(acting()))
+            System.err.println("versions: "
+                    + (now
+                            ? "in doubt, " + (refuses ? "new work is refused" : "the last one is acted on")
+                            : "sure of " + words(acting()))
                     + (fault.isEmpty() ? "" : ": " + fault));
         }
         io.at(Math.min(clock.now() + LOOK_NS, Math.max(next, clock.now() + Clock.MS)), this::look);
@@ -168,7 +173,7 @@
             folder.acting(v);
             fault = "";
             System.err.println("versions: acts on " + words(v) + " by " + v.author() + ": " + v.note());
-        } catch (IOException e) {   // it passed here, or this one was away; what it says now counts
+        } catch (IOException e) { // it passed here, or this one was away; what it says now counts
             fault = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             System.err.println("versions: can't act on " + words(v) + ": " + e.getMessage());
         }
@@ -187,8 +192,15 @@
         double rate = settings.get(Keys.REHEARSAL_CLOCK_PERCENT) / 100.0;
         long at = System.nanoTime();
         boolean doubted = !sure && (!fault.isEmpty() || inDoubt());
-        history.at(at, "acting", "number", acting().number(), "hash", acting().hash().substring(0, 12),
-                "until_ns", sure ? Long.MAX_VALUE : doubted ? at : at + (long) ((until - now) / rate));
+        history.at(
+                at,
+                "acting",
+                "number",
+                acting().number(),
+                "hash",
+                acting().hash().substring(0, 12),
+                "until_ns",
+                sure ? Long.MAX_VALUE : doubted ? at : at + (long) ((until - now) / rate));
     }
 
     // ---------------------------------------------------------------- on a thread of its own
@@ -216,7 +228,7 @@
             } catch (IOException | RuntimeException e) {
                 System.err.println("versions: " + e);
             }
-            LockSupport.parkNanos(boundMs * Clock.MS / 4);   // one answer may be lost, and one late
+            LockSupport.parkNanos(boundMs * Clock.MS / 4); // one answer may be lost, and one late
         }
     }
 
@@ -224,9 +236,10 @@
         long sent = clock.now();
         VersionTable.Outcome o;
         try {
-            o = group.versions(VersionTable.Command.confirm(settings.get(Keys.FLEET_NAME))).get();
+            o = group.versions(VersionTable.Command.confirm(settings.get(Keys.FLEET_NAME)))
+                    .get();
         } catch (ExecutionException e) {
-            return;   // no majority, or no link: what it was sure of runs out
+            return; // no majority, or no link: what it was sure of runs out
         }
         LeaseMachine.Versions here = group.versions();
         if (here.latest().number() != kept) {
@@ -235,7 +248,20 @@
         }
         synchronized (rule) {
             Version known = here.latest();
-            rule.confirmed(sent, clock.now(), o, atOnce ? new Version(known.number(), known.parent(), known.author(), known.note(), known.texts(), known.hash(), 0) : known);
+            rule.confirmed(
+                    sent,
+                    clock.now(),
+                    o,
+                    atOnce
+                            ? new Version(
+                                    known.number(),
+                                    known.parent(),
+                                    known.author(),
+                                    known.note(),
+                                    known.texts(),
+                                    known.hash(),
+                                    0)
+                            : known);
         }
         io.run(this::tell);
     }
@@ -253,7 +279,8 @@
             found = String.valueOf(e.getMessage()).lines().findFirst().orElse(e.toString());
         }
         try {
-            group.versions(VersionTable.Command.checked(settings.get(Keys.FLEET_NAME), v.number(), found)).get();
+            group.versions(VersionTable.Command.checked(settings.get(Keys.FLEET_NAME), v.number(), found))
+                    .get();
             looked = v.number();
         } catch (ExecutionException e) {
             // said again at the next look
@@ -291,12 +318,18 @@
     }
 
     private static Version find(LeaseMachine.Versions here, long number) {
-        return number == 0 ? Version.NONE : here.all().stream().filter(v -> v.number() == number).findFirst().orElse(null);
+        return number == 0
+                ? Version.NONE
+                : here.all().stream()
+                        .filter(v -> v.number() == number)
+                        .findFirst()
+                        .orElse(null);
     }
 
     private Verdict diff(LeaseMachine.Versions here, long a, long b) {
         Version from = find(here, a), to = find(here, b);
-        return from == null || to == null ? Verdict.no("version " + (from == null ? a : b) + " is not kept")
+        return from == null || to == null
+                ? Verdict.no("version " + (from == null ? a : b) + " is not kept")
                 : new Verdict(true, "diff", VersionContent.diff(from, to));
     }
 
@@ -312,7 +345,9 @@
                     refuse(c.hash(), c.path() + " holds " + read + " by now");
                 }
             } catch (IOException e) {
-                refuse(c.hash(), String.valueOf(e.getMessage()).lines().findFirst().orElse("it can't be read"));
+                refuse(
+                        c.hash(),
+                        String.valueOf(e.getMessage()).lines().findFirst().orElse("it can't be read"));
             }
         });
         return asked(c.hash());
@@ -325,14 +360,22 @@
     private void propose(LeaseGroup g, long parent, String note, Map<String, String> texts) {
         String hash = Version.hash(texts).substring(0, 12);
         try {
-            g.versions(VersionTable.Command.propose(settings.get(Keys.FLEET_NAME), parent, note, texts, g.members().size(), boundMs, leadMs)).whenComplete((o, e) -> {
-                if (e != null || !o.word().isEmpty()) {
-                    refuse(hash, e != null ? "not decided: " + e.getMessage() : o.word());
-                } else {
-                    refused = "";
-                    System.err.println("versions: proposal " + hash + " is looked at");
-                }
-            });
+            g.versions(VersionTable.Command.propose(
+                            settings.get(Keys.FLEET_NAME),
+                            parent,
+                            note,
+                            texts,
+                            g.members().size(),
+                            boundMs,
+                            leadMs))
+                    .whenComplete((o, e) -> {
+                        if (e != null || !o.word().isEmpty()) {
+                            refuse(hash, e != null ? "not decided: " + e.getMessage() : o.word());
+                        } else {
+                            refused = "";
+                            System.err.println("versions: proposal " + hash + " is looked at");
+                        }
+                    });
         } catch (IllegalArgumentException | IOException e) {
             refuse(hash, e.getMessage());
         }
@@ -347,18 +390,26 @@
         long now = clock.now();
         List<String> lines = new ArrayList<>();
         synchronized (rule) {
-            lines.add("acting=" + rule.acting().number() + " " + rule.acting().hash().substring(0, 12));
+            lines.add("acting=" + rule.acting().number() + " "
+                    + rule.acting().hash().substring(0, 12));
             lines.add("doubt=" + (inDoubt() ? "yes" : "no"));
             lines.add("confirmed_ms=" + (rule.ageNs(now) == Long.MAX_VALUE ? "never" : rule.ageNs(now) / Clock.MS));
             lines.add("next=" + (rule.next() == null ? "none" : rule.next().number()));
         }
-        lines.add("latest=" + here.latest().number() + " " + here.latest().hash().substring(0, 12));
-        lines.add("pending=" + (here.pending() == null ? "none" : here.pending().number() + " " + here.pending().hash().substring(0, 12)));
-        lines.add("ended=" + here.ended().number() + " " + (here.ended().hash().isEmpty() ? "none" : here.ended().hash().substring(0, 12)) + " " + here.ended().word());
+        lines.add(
+                "latest=" + here.latest().number() + " " + here.latest().hash().substring(0, 12));
+        lines.add("pending="
+                + (here.pending() == null
+                        ? "none"
+                        : here.pending().number() + " " + here.pending().hash().substring(0, 12)));
+        lines.add("ended=" + here.ended().number() + " "
+                + (here.ended().hash().isEmpty() ? "none" : here.ended().hash().substring(0, 12)) + " "
+                + here.ended().word());
         lines.add("refused=" + (refused.isEmpty() ? "none" : refused));
         lines.add("fault=" + (fault.isEmpty() ? "none" : fault));
         for (Version v : here.all()) {
-            lines.add("version=" + v.number() + " " + v.hash().substring(0, 12) + " from " + v.parent() + " by " + v.author() + ": " + v.note());
+            lines.add("version=" + v.number() + " " + v.hash().substring(0, 12) + " from " + v.parent() + " by "
+                    + v.author() + ": " + v.note());
         }
         lines.add("EOF");
         return lines;
--- a/src/main/java/elderseam/wiring/WarmPath.java
+++ b/src/main/java/elderseam/wiring/WarmPath.java
@@ -15,7 +15,7 @@
  * taken on, over the same connections and readers that calls to upstream hosts use.
  */
 final class WarmPath {
-    private static final long WITHIN_NS = 300 * Clock.MS;           // readiness does not wait longer than this
+    private static final long WITHIN_NS = 300 * Clock.MS; // readiness does not wait longer than this
     private static final int ROUNDS = 3;
 
     private WarmPath() {}
@@ -25,13 +25,23 @@
         String address = listener.getAddress().getHostAddress() + ":" + listener.getPort();
         Connections own = new Connections(io, WITHIN_NS, 1, 1 << 10);
         UpstreamHost self = new UpstreamHost("self", address);
-        Map<String, String> nowhere = Map.of("X-Txn", "warm", "X-Remaining", "1m", "X-Addressing", "dest=" + Relay.NOWHERE,
-                "Idempotency-Key", "warm", "X-Org", "warm");
+        Map<String, String> nowhere = Map.of(
+                "X-Txn",
+                "warm",
+                "X-Remaining",
+                "1m",
+                "X-Addressing",
+                "dest=" + Relay.NOWHERE,
+                "Idempotency-Key",
+                "warm",
+                "X-Org",
+                "warm");
         List<Call> calls = List.of(Call.get("/health/ready"), new Call("POST", "/" + cls, nowhere, new byte[64]));
         step(io, own, self, calls, 0, io.clock.now() + WITHIN_NS, then);
     }
 
-    private static void step(Io io, Connections own, UpstreamHost self, List<Call> calls, int n, long by, Runnable then) {
+    private static void step(
+            Io io, Connections own, UpstreamHost self, List<Call> calls, int n, long by, Runnable then) {
         if (n == ROUNDS * calls.size() || io.clock.now() >= by) {
             own.closeIdle(self);
             then.run();
--- a/src/main/java/org/xnio/nio/InheritedListener.java
+++ b/src/main/java/org/xnio/nio/InheritedListener.java
@@ -17,14 +17,17 @@
  * runs on the I/O thread.
  */
 public final class InheritedListener extends NioHandle {
-    private static final int AT_ONCE = 64;   // accepted before other sockets have their turn
+    private static final int AT_ONCE = 64; // accepted before other sockets have their turn
 
     private final WorkerThread thread;
     private final ServerSocketChannel socket;
     private final ChannelListener<? super StreamConnection> opened;
 
-    private InheritedListener(WorkerThread thread, SelectionKey key, ServerSocketChannel socket,
-                              ChannelListener<? super StreamConnection> opened) {
+    private InheritedListener(
+            WorkerThread thread,
+            SelectionKey key,
+            ServerSocketChannel socket,
+            ChannelListener<? super StreamConnection> opened) {
         super(thread, key);
         this.thread = thread;
         this.socket = socket;
@@ -32,7 +35,8 @@
     }
 
     /** On that I/O thread, to be called there; it accepts once {@link #resume()} is called. */
-    public static InheritedListener on(XnioIoThread thread, ServerSocketChannel socket, ChannelListener<? super StreamConnection> opened)
+    public static InheritedListener on(
+            XnioIoThread thread, ServerSocketChannel socket, ChannelListener<? super StreamConnection> opened)
             throws IOException {
         WorkerThread worker = (WorkerThread) thread;
         socket.configureBlocking(false);
@@ -56,7 +60,7 @@
         try {
             for (int i = 0; i < AT_ONCE; i++) {
                 SocketChannel accepted = socket.accept();
-                if (accepted == null) {   // another process was faster
+                if (accepted == null) { // another process was faster
                     return;
                 }
                 handOver(accepted);
@@ -71,7 +75,7 @@
             accepted.configureBlocking(false);
             accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
             SelectionKey key = thread.registerChannel(accepted);
-            ChannelListeners.invokeChannelListener(new NioSocketStreamConnection(thread, key, () -> { }), opened);
+            ChannelListeners.invokeChannelListener(new NioSocketStreamConnection(thread, key, () -> {}), opened);
         } catch (IOException e) {
             IoUtils.safeClose(accepted);
         }
@@ -83,6 +87,5 @@
     }
 
     @Override
-    void terminated() {
-    }
+    void terminated() {}
 }
--- a/src/test/java/elderseam/acme/AcmeTest.java
+++ b/src/test/java/elderseam/acme/AcmeTest.java
@@ -33,7 +33,8 @@
 
 /** Certificates from the stand-in authority, over the real protocol on loopback. */
 public class AcmeTest {
-    private static final java.util.concurrent.atomic.AtomicInteger GIVEN = new java.util.concurrent.atomic.AtomicInteger();
+    private static final java.util.concurrent.atomic.AtomicInteger GIVEN =
+            new java.util.concurrent.atomic.AtomicInteger();
     private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
     @TempDir
@@ -50,12 +51,18 @@
         trust.init(trusted);
         SSLContext client = SSLContext.getInstance("TLS");
         client.init(null, trust.getTrustManagers(), null);
-        return HttpClient.newBuilder().sslContext(client).version(HttpClient.Version.HTTP_1_1).build();
+        return HttpClient.newBuilder()
+                .sslContext(client)
+                .version(HttpClient.Version.HTTP_1_1)
+                .build();
     }
 
     public static int freePort() throws Exception {
-        for (int port = 20_000 + (int) (ProcessHandle.current().pid() % 10_000); ; port++) {   // below what others are given by chance
-            try (ServerSocket s = new ServerSocket(port + GIVEN.getAndIncrement(), 1, InetAddress.getLoopbackAddress())) {
+        for (int port = 20_000 + (int) (ProcessHandle.current().pid() % 10_000);
+                ;
+                port++) { // below what others are given by chance
+            try (ServerSocket s =
+                    new ServerSocket(port + GIVEN.getAndIncrement(), 1, InetAddress.getLoopbackAddress())) {
                 return s.getLocalPort();
             } catch (java.net.BindException e) {
                 assertTrue(port < 32_000, "no free port");
@@ -74,14 +81,24 @@
         int port = freePort();
         Authority authority = new Authority(io, ANY, port);
         Certificates certificates = certificates(authority, "localhost");
-        new Server(io, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1024, 8, 1 << 20, null,
+        new Server(
+                io,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                1024,
+                8,
+                1 << 20,
+                null,
                 certificates::challenge);
         certificates.start();
         SSLContext context = contexts.poll(15, TimeUnit.SECONDS);
         Server secure = new Server(io, ANY, 1024, 8, 1 << 20, context, (r, to) -> to.answer(200, Map.of(), "safe"));
 
-        HttpResponse<String> answer = trusting(authority).send(HttpRequest.newBuilder(URI.create("https://localhost:" + secure.address().getPort()))
-                        .build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> answer = trusting(authority)
+                .send(
+                        HttpRequest.newBuilder(URI.create(
+                                        "https://localhost:" + secure.address().getPort()))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
         assertEquals("safe", answer.body());
 
         byte[] chain = Files.readAllBytes(folder.resolve("chain.pem"));
@@ -94,14 +111,18 @@
     @Test
     void anUnprovedNameGetsNone() throws Exception {
         Authority authority = new Authority(new Io(new Clock()), ANY, freePort());
-        var account = new AccountBuilder().agreeToTermsOfService()
-                .useKeyPair(KeyPairUtils.createECKeyPair("secp256r1")).create(new Session(authority.directory()));
+        var account = new AccountBuilder()
+                .agreeToTermsOfService()
+                .useKeyPair(KeyPairUtils.createECKeyPair("secp256r1"))
+                .create(new Session(authority.directory()));
         var order = account.newOrder().domain("localhost").create();
         var a = order.getAuthorizations().get(0);
         a.findChallenge("http-01").orElseThrow().trigger();
         assertEquals(org.shredzone.acme4j.Status.INVALID, order.waitUntilReady(java.time.Duration.ofSeconds(30)));
         assertThrows(AcmeServerException.class, () -> order.execute(KeyPairUtils.createECKeyPair("secp256r1")));
-        assertThrows(AcmeServerException.class, () -> account.newOrder().domain("example.org").create());
+        assertThrows(
+                AcmeServerException.class,
+                () -> account.newOrder().domain("example.org").create());
     }
 
     /** A request that was sent once is not good twice, nor is one that nobody signed. */
@@ -109,9 +130,13 @@
     void unsignedRequestsAreTurnedAway() throws Exception {
         Authority authority = new Authority(new Io(new Clock()), ANY, freePort());
         URI url = URI.create(authority.directory().replace("/directory", "/new-account"));
-        HttpResponse<String> answer = HttpClient.newHttpClient().send(HttpRequest.newBuilder(url)
-                .POST(HttpRequest.BodyPublishers.ofString("{\"protected\":\"e30\",\"payload\":\"\",\"signature\":\"\"}"))
-                .build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> answer = HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(url)
+                                .POST(HttpRequest.BodyPublishers.ofString(
+                                        "{\"protected\":\"e30\",\"payload\":\"\",\"signature\":\"\"}"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
         assertEquals(400, answer.statusCode());
         assertTrue(answer.body().contains("urn:ietf:params:acme:error:badNonce"), answer.body());
         assertTrue(answer.headers().firstValue("Replay-Nonce").isPresent());
--- a/src/test/java/elderseam/acme/SealedBundleCompatTest.java
+++ b/src/test/java/elderseam/acme/SealedBundleCompatTest.java
@@ -37,7 +37,10 @@
         Seal.make(folder.resolve("made"), random);
         byte[] key = RecordedBytes.bytes("lease/seal/key", Files.readAllBytes(folder.resolve("made")));
         assertArrayEquals(key, Files.readAllBytes(folder.resolve("made")));
-        Seal seal = Seal.read(RecordedBytes.copy(RecordedBytes.path("lease/seal"), folder.resolve("copy")).resolve("key"), random);
+        Seal seal = Seal.read(
+                RecordedBytes.copy(RecordedBytes.path("lease/seal"), folder.resolve("copy"))
+                        .resolve("key"),
+                random);
         List<String> written = List.of(new String(BUNDLE.encoded(), "UTF-8"), seal.close(BUNDLE.encoded(), LEASE));
         List<String> recorded = RecordedBytes.lines("lease/sealed-bundle", written);
         assertEquals(recorded, written);
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -24,8 +24,11 @@
     }
 
     private static Ended given(String input, String... args) throws Exception {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "elderseam.Main"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "elderseam.Main"));
         command.addAll(List.of(args));
         Path err = Files.createTempFile("err", "");
         Process p = new ProcessBuilder(command).redirectError(err.toFile()).start();
@@ -38,9 +41,40 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "nonsense", "serve --nonsense", "serve a b", "config", "config check", "config check a b",
-        "authority", "authority here 1", "authority 127.0.0.1:0 many", "simhost more", "keys", "keys new", "keys new f --name", "keys list", "gossip", "gossip trial --instances 2",
-        "gossip trial --liars 9", "gossip watch", "rules", "rules check", "rules explain f", "rules eval", "rules test f g", "rules check f --nonsense", "lab", "lab run", "lab run f --policy", "lab sweep f", "lab compare a", "lab find f"})
+    @ValueSource(
+            strings = {
+                "",
+                "nonsense",
+                "serve --nonsense",
+                "serve a b",
+                "config",
+                "config check",
+                "config check a b",
+                "authority",
+                "authority here 1",
+                "authority 127.0.0.1:0 many",
+                "simhost more",
+                "keys",
+                "keys new",
+                "keys new f --name",
+                "keys list",
+                "gossip",
+                "gossip trial --instances 2",
+                "gossip trial --liars 9",
+                "gossip watch",
+                "rules",
+                "rules check",
+                "rules explain f",
+                "rules eval",
+                "rules test f g",
+                "rules check f --nonsense",
+                "lab",
+                "lab run",
+                "lab run f --policy",
+                "lab sweep f",
+                "lab compare a",
+                "lab find f"
+            })
     void aUsageFaultExitsWith2(String words) throws Exception {
         Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
         assertEquals(2, e.code, e.err);
@@ -49,9 +83,33 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"--help", "serve --help", "simhost --help", "authority --help", "train --help", "config --help",
-        "config check --help", "config show --help", "keys --help", "keys new --help", "keys list --help", "gossip --help",
-        "gossip trial --help", "gossip watch --help", "rules --help", "rules check --help", "rules explain --help", "rules eval --help", "rules test --help", "lab --help", "lab run --help", "lab sweep --help", "lab compare --help", "lab find --help"})
+    @ValueSource(
+            strings = {
+                "--help",
+                "serve --help",
+                "simhost --help",
+                "authority --help",
+                "train --help",
+                "config --help",
+                "config check --help",
+                "config show --help",
+                "keys --help",
+                "keys new --help",
+                "keys list --help",
+                "gossip --help",
+                "gossip trial --help",
+                "gossip watch --help",
+                "rules --help",
+                "rules check --help",
+                "rules explain --help",
+                "rules eval --help",
+                "rules test --help",
+                "lab --help",
+                "lab run --help",
+                "lab sweep --help",
+                "lab compare --help",
+                "lab find --help"
+            })
     void helpIsEverywhere(String words) throws Exception {
         Ended e = run(words.split(" "));
         assertEquals(0, e.code, e.err);
@@ -67,13 +125,24 @@
         assertEquals(new Ended(0, good + ": no fault\n", ""), run("config", "check", good.toString()));
         Ended faulty = run("config", "check", bad.toString());
         assertEquals(1, faulty.code);
-        assertEquals(bad + ":2: events.remember_s: 'never' can't be used, allowed: 1 to 2592000 seconds\n"
-                + bad + ":3: events.listen: 'nowhere' can't be used, allowed: off, or ADDRESS:PORT\n", faulty.err);
+        assertEquals(
+                bad + ":2: events.remember_s: 'never' can't be used, allowed: 1 to 2592000 seconds\n" + bad
+                        + ":3: events.listen: 'nowhere' can't be used, allowed: off, or ADDRESS:PORT\n",
+                faulty.err);
         Ended shown = run("config", "show", good.toString());
-        assertTrue(shown.out.lines().anyMatch(l -> l.matches("events\\.remember_s +60 +\\Q" + good + "\\E:2 +from the next start")), shown.out);
-        assertTrue(shown.out.lines().anyMatch(l -> l.matches("events\\.listen +off +default +from the next start")), shown.out);
+        assertTrue(
+                shown.out
+                        .lines()
+                        .anyMatch(l -> l.matches("events\\.remember_s +60 +\\Q" + good + "\\E:2 +from the next start")),
+                shown.out);
+        assertTrue(
+                shown.out.lines().anyMatch(l -> l.matches("events\\.listen +off +default +from the next start")),
+                shown.out);
         Ended json = run("config", "show", "--json", good.toString());
-        assertTrue(json.out.contains("{\"key\":\"events.remember_s\",\"value\":\"60\",\"from\":\"" + good + ":2\",\"live\":false}"), json.out);
+        assertTrue(
+                json.out.contains(
+                        "{\"key\":\"events.remember_s\",\"value\":\"60\",\"from\":\"" + good + ":2\",\"live\":false}"),
+                json.out);
         assertEquals(1, run("config", "show", folder.resolve("none").toString()).code);
     }
 
@@ -94,13 +163,19 @@
         assertTrue(made.code == 0 && made.out.startsWith("n1 10.0.0.0/8,fd00::/8 "), made.toString());
         Files.writeString(roster, made.out);
         Ended list = run("keys", "list", roster.toString(), "--json");
-        assertEquals("{\"name\":\"n1\",\"from\":\"10.0.0.0/8,fd00::/8\",\"keys\":[\"" + made.out.strip().split(" ")[2] + "\"]}\n", list.out, list.err);
+        assertEquals(
+                "{\"name\":\"n1\",\"from\":\"10.0.0.0/8,fd00::/8\",\"keys\":[\""
+                        + made.out.strip().split(" ")[2] + "\"]}\n",
+                list.out,
+                list.err);
         Ended again = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8");
         assertTrue(again.code == 1 && again.err.contains("a key is not written over"), again.toString());
-        assertEquals(2, run("keys", "new", folder.resolve("k2").toString(), "--name", "n1", "--from", "10.0.0.1/8").code);
+        assertEquals(
+                2, run("keys", "new", folder.resolve("k2").toString(), "--name", "n1", "--from", "10.0.0.1/8").code);
         Files.writeString(roster, made.out + made.out);
         Ended twice = run("keys", "list", roster.toString());
-        assertTrue(twice.code == 1 && twice.err.contains("roster:2: n1: its key is told of n1 already"), twice.toString());
+        assertTrue(
+                twice.code == 1 && twice.err.contains("roster:2: n1: its key is told of n1 already"), twice.toString());
         Path off = Files.writeString(folder.resolve("off.ini"), "# nothing\n");
         Ended watch = run("gossip", "watch", off.toString());
         assertTrue(watch.code == 1 && watch.err.contains("gossip.listen: is off"), watch.toString());
@@ -110,9 +185,15 @@
     @Test
     void aTrialTellsWhatItSaw() throws Exception {
         Ended words = run("gossip", "trial", "--instances", "3", "--undisturbed", "5");
-        assertTrue(words.code == 0 && words.out.startsWith("3 instances") && words.out.contains("one killed"), words.toString());
+        assertTrue(
+                words.code == 0 && words.out.startsWith("3 instances") && words.out.contains("one killed"),
+                words.toString());
         Ended json = run("gossip", "trial", "--instances", "3", "--undisturbed", "5", "--json", "-");
-        assertTrue(json.code == 0 && json.out.startsWith("{\"instances\":3,") && json.out.lines().count() == 1, json.toString());
+        assertTrue(
+                json.code == 0
+                        && json.out.startsWith("{\"instances\":3,")
+                        && json.out.lines().count() == 1,
+                json.toString());
         assertEquals(2, run("gossip", "trial", "--instances", "2").code);
     }
 
@@ -132,22 +213,51 @@
                 state = rate=8 share=3
                 expect_class = job-order
                 """).toString();
-        Path config = Files.writeString(folder.resolve("config.json"), "{\"settings\":{\"services\":[{\"name\":\"rent-payment\"}],\"orgs\":[]}}");
+        Path config = Files.writeString(
+                folder.resolve("config.json"),
+                "{\"settings\":{\"services\":[{\"name\":\"rent-payment\"}],\"orgs\":[]}}");
         Ended check = run("rules", "check", rules);
         assertTrue(check.code == 0 && check.out.contains("no fault, 1 rules, at most"), check.toString());
         Ended named = run("rules", "check", rules, "--config", config.toString());
-        assertTrue(named.code == 1 && named.err.contains("a.rules:3:9: rule.flood.class: 'job-order' is no class, allowed: rent-payment"), named.toString());
+        assertTrue(
+                named.code == 1
+                        && named.err.contains(
+                                "a.rules:3:9: rule.flood.class: 'job-order' is no class, allowed: rent-payment"),
+                named.toString());
         Ended test = run("rules", "test", rules);
-        assertTrue(test.code == 1 && test.out.contains("holds  flood") && test.out.contains("FAILS  calm") && test.out.contains("2 examples, 1 failed"), test.toString());
+        assertTrue(
+                test.code == 1
+                        && test.out.contains("holds  flood")
+                        && test.out.contains("FAILS  calm")
+                        && test.out.contains("2 examples, 1 failed"),
+                test.toString());
         Ended explain = run("rules", "explain", rules, "size(request.path) > 3");
-        assertTrue(explain.code == 0 && explain.out.contains("gives bool, at most 70 of 20000 units"), explain.toString());
-        Ended eval = given("POST /rent-payment\r\nX-Org: a\r\n\r\nbody", "rules", "eval", rules, "--state", "rate=10 share=1", "--json");
-        assertTrue(eval.code == 0 && eval.out.contains("\"class\":\"job-order\"") && eval.out.contains("rule flood matches"), eval.toString());
+        assertTrue(
+                explain.code == 0 && explain.out.contains("gives bool, at most 70 of 20000 units"), explain.toString());
+        Ended eval = given(
+                "POST /rent-payment\r\nX-Org: a\r\n\r\nbody",
+                "rules",
+                "eval",
+                rules,
+                "--state",
+                "rate=10 share=1",
+                "--json");
+        assertTrue(
+                eval.code == 0
+                        && eval.out.contains("\"class\":\"job-order\"")
+                        && eval.out.contains("rule flood matches"),
+                eval.toString());
         Ended none = given("nonsense", "rules", "eval", rules, "--state", "rate=fast");
-        assertTrue(none.code == 1 && none.err.contains("'nonsense' is no first line of a request") && none.err.contains("'rate=fast' is no state"), none.toString());
+        assertTrue(
+                none.code == 1
+                        && none.err.contains("'nonsense' is no first line of a request")
+                        && none.err.contains("'rate=fast' is no state"),
+                none.toString());
         Path ini = Files.writeString(folder.resolve("e.ini"), "[rules]\nfiles = " + rules + "\nbudget = 100\n");
         Ended small = run("rules", "check", ini.toString());
         assertEquals(0, small.code, small.err);
-        assertTrue(run("rules", "explain", ini.toString(), "request.path.contains('abcdefghij')").err.contains("allowed: 100"));
+        assertTrue(run("rules", "explain", ini.toString(), "request.path.contains('abcdefghij')")
+                .err
+                .contains("allowed: 100"));
     }
 }
--- a/src/test/java/elderseam/cli/GossipWordsTest.java
+++ b/src/test/java/elderseam/cli/GossipWordsTest.java
@@ -12,7 +12,13 @@
 class GossipWordsTest {
     @Test
     void statesKeepTheirWords() {
-        assertEquals(List.of("ALIVE", "SUSPECT", "DEAD", "LEFT"), Arrays.stream(Standing.values()).map(GossipCommand.Watch::word).toList());
-        assertEquals(List.of("CLOSED", "HALF_OPEN", "OPEN"), Arrays.stream(Claim.State.values()).map(GossipCommand.Watch::word).toList());
+        assertEquals(
+                List.of("ALIVE", "SUSPECT", "DEAD", "LEFT"),
+                Arrays.stream(Standing.values()).map(GossipCommand.Watch::word).toList());
+        assertEquals(
+                List.of("CLOSED", "HALF_OPEN", "OPEN"),
+                Arrays.stream(Claim.State.values())
+                        .map(GossipCommand.Watch::word)
+                        .toList());
     }
 }
--- a/src/test/java/elderseam/compat/CommandOutputCompatTest.java
+++ b/src/test/java/elderseam/compat/CommandOutputCompatTest.java
@@ -14,9 +14,18 @@
 
     @Test
     void outputIsAsRecorded() throws Exception {
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Duser.language=en", "-cp", System.getProperty("java.class.path"), CommandReplay.class.getName(), folder.toString())
-                .directory(RecordedText.FOLDER.resolve("cli").toFile()).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Duser.language=en",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        CommandReplay.class.getName(),
+                        folder.toString())
+                .directory(RecordedText.FOLDER.resolve("cli").toFile())
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         String transcript = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, p.waitFor());
         RecordedText.check("cli/transcript", transcript);
--- a/src/test/java/elderseam/compat/CommandReplay.java
+++ b/src/test/java/elderseam/compat/CommandReplay.java
@@ -56,17 +56,39 @@
             "config diff 1",
             "config rollback",
             "lab subsets --size 0",
-            "usage serve", "usage simhost", "usage authority", "usage train", "usage config check", "usage config show", "usage config propose",
-            "usage config status", "usage config diff", "usage config rollback", "usage keys new", "usage keys list", "usage gossip trial",
-            "usage gossip watch", "usage rules check", "usage rules explain", "usage rules eval", "usage rules test", "usage lab run",
-            "usage lab sweep", "usage lab compare", "usage lab find", "usage lab subsets", "usage fleet test", "usage fleet figures");
+            "usage serve",
+            "usage simhost",
+            "usage authority",
+            "usage train",
+            "usage config check",
+            "usage config show",
+            "usage config propose",
+            "usage config status",
+            "usage config diff",
+            "usage config rollback",
+            "usage keys new",
+            "usage keys list",
+            "usage gossip trial",
+            "usage gossip watch",
+            "usage rules check",
+            "usage rules explain",
+            "usage rules eval",
+            "usage rules test",
+            "usage lab run",
+            "usage lab sweep",
+            "usage lab compare",
+            "usage lab find",
+            "usage lab subsets",
+            "usage fleet test",
+            "usage fleet figures");
 
     private CommandReplay() {}
 
     public static void main(String[] args) throws Exception {
         PrintStream transcript = System.out;
         for (String command : COMMANDS) {
-            transcript.print("$ " + command + "\n" + output(command.replace("{out}", args[0])).replace(args[0], "{out}"));
+            transcript.print("$ " + command + "\n"
+                    + output(command.replace("{out}", args[0])).replace(args[0], "{out}"));
         }
     }
 
@@ -86,7 +108,7 @@
         System.setOut(new PrintStream(written, true, StandardCharsets.UTF_8));
         System.setErr(new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
         System.setIn(part.length > 1 ? Files.newInputStream(Path.of(part[1])) : InputStream.nullInputStream());
-        int code = Commands.run(part[0].split(" "), file -> { }, () -> { }, (address, port) -> { }, () -> { });
+        int code = Commands.run(part[0].split(" "), file -> {}, () -> {}, (address, port) -> {}, () -> {});
         return written.toString(StandardCharsets.UTF_8) + "exit " + code + "\n";
     }
 
--- a/src/test/java/elderseam/compat/CoreProcess.java
+++ b/src/test/java/elderseam/compat/CoreProcess.java
@@ -28,17 +28,34 @@
 
 /** One process's core without sockets or threads: its clock, its journal and the answers of hosts are the test's. */
 public final class CoreProcess implements Loop, Upstream {
-    public static final SettingsMap SETTINGS = new SettingsMap(Map.ofEntries(Map.entry("services.count", "2"),
-            Map.entry("services.0.effect", "by_key"), Map.entry("services.0.windowNs", "6000000000"),
-            Map.entry("services.0.targetNs", "2000000000"), Map.entry("services.0.giveUpNs", "30000000000"),
-            Map.entry("services.1.effect", "repeatable"), Map.entry("services.1.targetNs", "1000000000"),
-            Map.entry("services.1.giveUpNs", "20000000000"), Map.entry("flavors", "plain,routed"), Map.entry("localities", "north,south"),
-            Map.entry("extra.kindApart", "false,true"), Map.entry("orgs.count", "2"), Map.entry("orgs.0.quotaPerS", "40"),
-            Map.entry("orgs.1.quotaPerS", "7"), Map.entry("overShareWorth", "0.5"), Map.entry("extra.callSlots", "40"),
-            Map.entry("limits.maxAttempts", "4"), Map.entry("limits.mayCancel", "true"), Map.entry("limits.connIdleNs", "10000000000"),
-            Map.entry("limits.connectTimeoutNs", "1000000000"), Map.entry("limits.maxRetryAfterNs", "2000000000"),
-            Map.entry("replicasOfMe", "2"), Map.entry("weightKind", "nominal"), Map.entry("safety.coldShare", "0.25"),
-            Map.entry("safety.coldNs", "10000000000"), Map.entry("safety.fallMultiple", "2"), Map.entry("safety.fallNs", "2000000000")));
+    public static final SettingsMap SETTINGS = new SettingsMap(Map.ofEntries(
+            Map.entry("services.count", "2"),
+            Map.entry("services.0.effect", "by_key"),
+            Map.entry("services.0.windowNs", "6000000000"),
+            Map.entry("services.0.targetNs", "2000000000"),
+            Map.entry("services.0.giveUpNs", "30000000000"),
+            Map.entry("services.1.effect", "repeatable"),
+            Map.entry("services.1.targetNs", "1000000000"),
+            Map.entry("services.1.giveUpNs", "20000000000"),
+            Map.entry("flavors", "plain,routed"),
+            Map.entry("localities", "north,south"),
+            Map.entry("extra.kindApart", "false,true"),
+            Map.entry("orgs.count", "2"),
+            Map.entry("orgs.0.quotaPerS", "40"),
+            Map.entry("orgs.1.quotaPerS", "7"),
+            Map.entry("overShareWorth", "0.5"),
+            Map.entry("extra.callSlots", "40"),
+            Map.entry("limits.maxAttempts", "4"),
+            Map.entry("limits.mayCancel", "true"),
+            Map.entry("limits.connIdleNs", "10000000000"),
+            Map.entry("limits.connectTimeoutNs", "1000000000"),
+            Map.entry("limits.maxRetryAfterNs", "2000000000"),
+            Map.entry("replicasOfMe", "2"),
+            Map.entry("weightKind", "nominal"),
+            Map.entry("safety.coldShare", "0.25"),
+            Map.entry("safety.coldNs", "10000000000"),
+            Map.entry("safety.fallMultiple", "2"),
+            Map.entry("safety.fallNs", "2000000000")));
     static final End DELIVERED = new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
 
     private record Timer(long at, int number, Runnable task) implements Comparable<Timer> {
@@ -53,8 +70,8 @@
     public final Relay relay;
     final Journal journal;
     final Discovery discovery;
-    final Map<String, Attempt> attempts = new LinkedHashMap<>();   // unanswered, the last of each message
-    final List<String> ended = new ArrayList<>();                  // as the front was told
+    final Map<String, Attempt> attempts = new LinkedHashMap<>(); // unanswered, the last of each message
+    final List<String> ended = new ArrayList<>(); // as the front was told
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private int timersSet;
 
@@ -62,8 +79,9 @@
         this.store = store;
         this.clock = clock;
         journal = new Journal(store, 1_000_000, clock);
-        relay = new Relay(SETTINGS.settings(), 11, journal, clock, this, words -> { });
-        relay.front((byte) 1, (m, answer) -> ended.add(m.id() + " " + answer.kind().ordinal()), this);
+        relay = new Relay(SETTINGS.settings(), 11, journal, clock, this, words -> {});
+        relay.front(
+                (byte) 1, (m, answer) -> ended.add(m.id() + " " + answer.kind().ordinal()), this);
         discovery = new Discovery(null, null, null, new Hosts(SETTINGS), relay);
     }
 
@@ -87,8 +105,19 @@
 
     Answer take(String id, int cls, int tenant, long destination, String same) {
         long by = clock.now() + (cls == 0 ? 30_000 : 20_000) * Clock.MS;
-        return relay.take(new Stream.Message(id, (byte) 1, cls, tenant, destination, by, by + 60_000 * Clock.MS, false, true, "key of " + id,
-                ("body of " + id).getBytes(StandardCharsets.UTF_8), same));
+        return relay.take(new Stream.Message(
+                id,
+                (byte) 1,
+                cls,
+                tenant,
+                destination,
+                by,
+                by + 60_000 * Clock.MS,
+                false,
+                true,
+                "key of " + id,
+                ("body of " + id).getBytes(StandardCharsets.UTF_8),
+                same));
     }
 
     void ends(String id, End end) {
@@ -129,6 +158,5 @@
     }
 
     @Override
-    public void closeIdle(String host) {
-    }
+    public void closeIdle(String host) {}
 }
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -38,8 +38,11 @@
 @Timeout(30)
 class HandoverFormatTest {
     private static final String FRAMES = "handover/frames.hex";
-    private static final Frame.Give GIVE = new Frame.Give("{\"version\":3,\"zone\":\"Österreich\"}", new Estate(new byte[] {1, -2, 3},
-            List.of(new Out("m1", 1, "a1", 5_000_000_000L), new Out("m2", 0, "b1", 7))), true);
+    private static final Frame.Give GIVE = new Frame.Give(
+            "{\"version\":3,\"zone\":\"Österreich\"}",
+            new Estate(
+                    new byte[] {1, -2, 3}, List.of(new Out("m1", 1, "a1", 5_000_000_000L), new Out("m2", 0, "b1", 7))),
+            true);
 
     @TempDir
     Path folder;
@@ -50,7 +53,8 @@
 
     @BeforeEach
     void connect() throws IOException {
-        server = ServerSocketChannel.open(StandardProtocolFamily.UNIX).bind(UnixDomainSocketAddress.of(folder.resolve("handover")));
+        server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
+                .bind(UnixDomainSocketAddress.of(folder.resolve("handover")));
         link = Link.connect(folder);
         older = server.accept();
     }
@@ -64,12 +68,23 @@
 
     /** Every kind of frame, and an end with every progress and status, in the order of the resource. */
     private static List<Frame> frames() {
-        List<Frame> all = new ArrayList<>(List.of(new Frame.Take(), GIVE, new Frame.Owned(), new Frame.Abandon("m1", 3)));
-        for (Progress p : List.of(Progress.NOT_CONNECTED, Progress.PARTLY_WRITTEN, Progress.WRITTEN, Progress.ANSWERED)) {
+        List<Frame> all =
+                new ArrayList<>(List.of(new Frame.Take(), GIVE, new Frame.Owned(), new Frame.Abandon("m1", 3)));
+        for (Progress p :
+                List.of(Progress.NOT_CONNECTED, Progress.PARTLY_WRITTEN, Progress.WRITTEN, Progress.ANSWERED)) {
             all.add(new Frame.Ended(new Passed("m1", 2, "a1", false, new End(p, Status.BROKEN, 0, 0, 0))));
         }
-        for (Status s : List.of(Status.DELIVERED, Status.ERROR, Status.FULL, Status.NO_SLOT, Status.SPENT, Status.OVER, Status.BROKEN,
-                Status.TIMED_OUT, Status.ABANDONED, Status.HELD)) {
+        for (Status s : List.of(
+                Status.DELIVERED,
+                Status.ERROR,
+                Status.FULL,
+                Status.NO_SLOT,
+                Status.SPENT,
+                Status.OVER,
+                Status.BROKEN,
+                Status.TIMED_OUT,
+                Status.ABANDONED,
+                Status.HELD)) {
             all.add(new Frame.Ended(new Passed("m2", 5, "b1", true, new End(Progress.ANSWERED, s, 9, 0.25, 30))));
         }
         return all;
@@ -93,7 +108,9 @@
     private static void assertSame(Frame expected, Frame actual) {
         if (expected instanceof Frame.Give e && actual instanceof Frame.Give a) {
             assertArrayEquals(e.estate().learned(), a.estate().learned());
-            assertEquals(List.of(e.list(), e.estate().out(), e.drains()), List.of(a.list(), a.estate().out(), a.drains()));
+            assertEquals(
+                    List.of(e.list(), e.estate().out(), e.drains()),
+                    List.of(a.list(), a.estate().out(), a.drains()));
         } else {
             assertEquals(expected, actual);
         }
@@ -102,7 +119,8 @@
     @Test
     void everyFrameIsReadAndWrittenAsBefore() throws Exception {
         if (Recorded.wanted(FRAMES)) {
-            Recorded.assertRecords(FRAMES, frames().stream().map(OlderProcess::sent).toList());
+            Recorded.assertRecords(
+                    FRAMES, frames().stream().map(OlderProcess::sent).toList());
         }
         List<byte[]> records = Recorded.records(FRAMES);
         List<Frame> frames = frames();
@@ -127,8 +145,8 @@
     }
 
     private static Estate passedOnAgain(CoreProcess newer, Estate given) {
-        newer.relay.handover().takeOver(given, o -> { });
-        return newer.relay.handover().passOn(p -> { });
+        newer.relay.handover().takeOver(given, o -> {});
+        return newer.relay.handover().passOn(p -> {});
     }
 
     /**
@@ -136,16 +154,21 @@
      * without the journal, since each message that is taken back counts against its tenant.
      */
     private static void assertTakesOverAll(Estate given) throws IOException {
-        assertArrayEquals(given.learned(), passedOnAgain(newer(new byte[0]), given).learned());
+        assertArrayEquals(
+                given.learned(), passedOnAgain(newer(new byte[0]), given).learned());
         Comparator<Out> byId = Comparator.comparing(Out::id);
-        assertEquals(given.out().stream().sorted(byId).toList(),
-                passedOnAgain(newer(Recorded.bytes(OlderProcess.JOURNAL)), given).out().stream().sorted(byId).toList());
+        assertEquals(
+                given.out().stream().sorted(byId).toList(),
+                passedOnAgain(newer(Recorded.bytes(OlderProcess.JOURNAL)), given).out().stream()
+                        .sorted(byId)
+                        .toList());
     }
 
     @Test
     void anEarlierBuildHandsOver() throws Exception {
         OlderProcess.recordIfWanted();
-        List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER), toOlder = Recorded.records(OlderProcess.TO_OLDER);
+        List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER),
+                toOlder = Recorded.records(OlderProcess.TO_OLDER);
         Taking taking = new Taking();
         assertEquals(Taking.Step.WARM, taking.looked(true, false));
         assertEquals(Taking.Step.ASK, taking.warm());
@@ -162,12 +185,15 @@
         newer.discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
         assertEquals(given.list(), newer.discovery.list());
         List<String> breakers = new ArrayList<>();
-        newer.relay.breakers((destination, b) -> breakers.add(destination + " " + b.standing() + (b.waitNs() > 0 ? " waits" : "")));
-        assertEquals(List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"), breakers.stream().sorted().toList());
+        newer.relay.breakers(
+                (destination, b) -> breakers.add(destination + " " + b.standing() + (b.waitNs() > 0 ? " waits" : "")));
+        assertEquals(
+                List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"),
+                breakers.stream().sorted().toList());
         assertTrue(given.drains());
         link.send(new Frame.Owned());
         olderReads(toOlder.get(1));
-        newer.relay.recover(() -> 0, () -> { });
+        newer.relay.recover(() -> 0, () -> {});
         handover.abandon("late", 0);
         olderReads(toOlder.get(2));
         for (byte[] record : toNewer.subList(1, toNewer.size())) {
@@ -183,7 +209,7 @@
         for (String id : List.of("lead", "copy", "late")) {
             assertEquals(Answer.DELIVERED, newer.journal.answer(id), id);
         }
-        newer.ends("lost", CoreProcess.DELIVERED);   // it may be repeated by its key, and was tried again
+        newer.ends("lost", CoreProcess.DELIVERED); // it may be repeated by its key, and was tried again
         assertEquals(Answer.DELIVERED, newer.journal.answer("lost"));
         assertEquals(newer.ended.stream().distinct().toList(), newer.ended, "no end is told twice");
     }
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -18,13 +18,17 @@
 /** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
 public final class OlderProcess {
     public static final String LEARNED = "learned/file.hex";
-    static final String JOURNAL = "handover/journal.hex", TO_NEWER = "handover/to-newer.hex", TO_OLDER = "handover/to-older.hex";
+    static final String JOURNAL = "handover/journal.hex",
+            TO_NEWER = "handover/to-newer.hex",
+            TO_OLDER = "handover/to-older.hex";
     /** When it began, and when it passed its work on. */
     static final long BEGAN_NS = 5_000_000 * Clock.MS, PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MS;
     /** Destination 1: plain; 2: its breaker opens; 3: routes apart, one in a told wait; 4: back after a drain, so cold. */
     private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":["
-            + host("a1", "plain", 1, "SERVING") + "," + host("a2", "plain", 1, "SERVING") + "," + host("b1", "plain", 2, "SERVING") + ","
-            + host("c1", "routed", 3, "SERVING") + "," + host("c2", "routed", 3, "SERVING") + "," + host("d1", "plain", 4, "%s") + "]}";
+            + host("a1", "plain", 1, "SERVING") + "," + host("a2", "plain", 1, "SERVING") + ","
+            + host("b1", "plain", 2, "SERVING") + ","
+            + host("c1", "routed", 3, "SERVING") + "," + host("c2", "routed", 3, "SERVING") + ","
+            + host("d1", "plain", 4, "%s") + "]}";
 
     private final CoreProcess process = new CoreProcess(new MemoryStore(), new ManualClock(BEGAN_NS));
     private int number;
@@ -59,8 +63,9 @@
     }
 
     private static String host(String id, String kind, long destination, String state) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + id + ".example:80\",\"zone\":\"south\",\"kind\":\"" + kind + "\",\"cell\":"
-                + destination + ",\"state\":\"" + state + "\",\"weight\":" + 10 * (destination + 1) + "}";
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + id + ".example:80\",\"zone\":\"south\",\"kind\":\"" + kind
+                + "\",\"cell\":" + destination + ",\"state\":\"" + state + "\",\"weight\":" + 10 * (destination + 1)
+                + "}";
     }
 
     private void take(long destination, int tenant) {
@@ -90,7 +95,10 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return ByteBuffer.allocate(4 + bytes.size()).putInt(bytes.size()).put(bytes.toByteArray()).array();
+        return ByteBuffer.allocate(4 + bytes.size())
+                .putInt(bytes.size())
+                .put(bytes.toByteArray())
+                .array();
     }
 
     /** Its journal when it passed its work on, the file of what it had learned, and what travels both ways. */
@@ -101,7 +109,9 @@
         OlderProcess older = new OlderProcess();
         Recorded.assertBytes(JOURNAL, CoreProcess.bytes(older.process.store));
         Recorded.assertBytes(LEARNED, CoreProcess.bytes(older.process.store.aside("learned")));
-        Recorded.assertRecords(TO_NEWER, older.passesOn().stream().map(OlderProcess::sent).toList());
-        Recorded.assertRecords(TO_OLDER, List.of(sent(new Frame.Take()), sent(new Frame.Owned()), sent(new Frame.Abandon("late", 0))));
+        Recorded.assertRecords(
+                TO_NEWER, older.passesOn().stream().map(OlderProcess::sent).toList());
+        Recorded.assertRecords(
+                TO_OLDER, List.of(sent(new Frame.Take()), sent(new Frame.Owned()), sent(new Frame.Abandon("late", 0))));
     }
 }
--- a/src/test/java/elderseam/compat/Recorded.java
+++ b/src/test/java/elderseam/compat/Recorded.java
@@ -18,7 +18,7 @@
 public final class Recorded {
     private static final Path FOLDER = Path.of("src/test/resources/compat");
     private static final HexFormat HEX = HexFormat.of();
-    private static final int LINE = 64;   // bytes, where a resource is one piece
+    private static final int LINE = 64; // bytes, where a resource is one piece
 
     private Recorded() {}
 
--- a/src/test/java/elderseam/compat/RecordedBytes.java
+++ b/src/test/java/elderseam/compat/RecordedBytes.java
@@ -45,7 +45,9 @@
 
     /** The recorded lines of a resource; {@code written} is recorded where it is missing. */
     public static List<String> lines(String name, List<String> written) throws IOException {
-        return new String(bytes(name, (String.join("\n", written) + "\n").getBytes("UTF-8")), "UTF-8").lines().toList();
+        return new String(bytes(name, (String.join("\n", written) + "\n").getBytes("UTF-8")), "UTF-8")
+                .lines()
+                .toList();
     }
 
     public static String hex(byte[] bytes) {
--- a/src/test/java/elderseam/compat/SettingsCompatTest.java
+++ b/src/test/java/elderseam/compat/SettingsCompatTest.java
@@ -22,16 +22,56 @@
     private static final Pattern BOUNDS = Pattern.compile("(-?\\d+) to (\\d+) .*");
 
     /** Values of every form that a text key takes, so that what a key accepts is pinned by what it does and not by its words. */
-    private static final List<String> SAMPLES = List.of("", "off", "on", "each", "one", "told", "gossip", "kept", "forgotten", "refuse", "keep", "lowest",
-            "majority", "right", "no-confirm", "at-commit", "UTC", "Africa/Lagos", "*", "a.example", "a.example,b-c d_e", "task:1", "name-1", "a/b", "/a b",
-            "127.0.0.1:80", "[::1]:80", "localhost:80", "127.0.0.1:99999", "127.0.0.1", "n1=127.0.0.1:1 n2=127.0.0.1:2", "http://a/", "https://a/", "ftp://a/",
-            "x".repeat(65), "x".repeat(4_097));
+    private static final List<String> SAMPLES = List.of(
+            "",
+            "off",
+            "on",
+            "each",
+            "one",
+            "told",
+            "gossip",
+            "kept",
+            "forgotten",
+            "refuse",
+            "keep",
+            "lowest",
+            "majority",
+            "right",
+            "no-confirm",
+            "at-commit",
+            "UTC",
+            "Africa/Lagos",
+            "*",
+            "a.example",
+            "a.example,b-c d_e",
+            "task:1",
+            "name-1",
+            "a/b",
+            "/a b",
+            "127.0.0.1:80",
+            "[::1]:80",
+            "localhost:80",
+            "127.0.0.1:99999",
+            "127.0.0.1",
+            "n1=127.0.0.1:1 n2=127.0.0.1:2",
+            "http://a/",
+            "https://a/",
+            "ftp://a/",
+            "x".repeat(65),
+            "x".repeat(4_097));
 
     @Test
     void keysOfTheSettingsFile() throws Exception {
         StringBuilder table = new StringBuilder();
         for (Key<?> k : Keys.ALL) {
-            table.append(k.path()).append(" = ").append(k.absent()).append(" | ").append(k.live() ? "live" : "next start").append(" | ").append(form(k)).append('\n');
+            table.append(k.path())
+                    .append(" = ")
+                    .append(k.absent())
+                    .append(" | ")
+                    .append(k.live() ? "live" : "next start")
+                    .append(" | ")
+                    .append(form(k))
+                    .append('\n');
         }
         RecordedText.check("settings/keys", table.toString());
     }
@@ -41,13 +81,18 @@
             Matcher m = BOUNDS.matcher(k.allowed());
             assertEquals(true, m.matches(), k.path());
             long least = Long.parseLong(m.group(1)), most = Long.parseLong(m.group(2));
-            assertEquals(List.of(least, most), List.of(k.read().apply(m.group(1)), k.read().apply(m.group(2))), k.path());
+            assertEquals(
+                    List.of(least, most),
+                    List.of(k.read().apply(m.group(1)), k.read().apply(m.group(2))),
+                    k.path());
             assertNull(k.read().apply(Long.toString(least - 1)), k.path());
             assertNull(k.read().apply(Long.toString(most + 1)), k.path());
             return "number " + least + " to " + most;
         }
         List<String> accepted = new ArrayList<>();
-        SAMPLES.stream().filter(s -> k.read().apply(s) != null).forEach(s -> accepted.add(s.length() > 64 ? s.length() + " x" : "'" + s + "'"));
+        SAMPLES.stream()
+                .filter(s -> k.read().apply(s) != null)
+                .forEach(s -> accepted.add(s.length() > 64 ? s.length() + " x" : "'" + s + "'"));
         return (k.byDefault() instanceof List ? "list: " : "text: ") + String.join(" ", accepted);
     }
 
@@ -55,28 +100,62 @@
     @Test
     void keysOfThePlatformsSettings() throws Exception {
         TreeSet<String> asked = new TreeSet<>();
-        Map<String, String> values = new HashMap<>(Map.of("services.count", "1", "services.0.effect", "once", "orgs.count", "1", "extra.callSlots", "1", "services.0.giveUpNs", "2", "services.0.targetNs", "1")) {
-            private static final long serialVersionUID = 1;
+        Map<String, String> values =
+                new HashMap<>(Map.of(
+                        "services.count",
+                        "1",
+                        "services.0.effect",
+                        "once",
+                        "orgs.count",
+                        "1",
+                        "extra.callSlots",
+                        "1",
+                        "services.0.giveUpNs",
+                        "2",
+                        "services.0.targetNs",
+                        "1")) {
+                    private static final long serialVersionUID = 1;
 
-            @Override
-            public String get(Object path) {
-                asked.add((String) path);
-                return super.get(path);
-            }
-        };
+                    @Override
+                    public String get(Object path) {
+                        asked.add((String) path);
+                        return super.get(path);
+                    }
+                };
         SettingsMap settings = new SettingsMap(values);
         assertNotNull(settings.settings());
         List<String> faults = SettingsCheck.faults(settings);
-        RecordedText.check("settings/relay_config", "looked up:\n" + String.join("\n", asked) + "\n\nmissing, of the above:\n"
-                + String.join("\n", faults.stream().map(f -> f.substring(0, f.indexOf(':'))).toList()) + "\n\nwords that differ:\n" + words());
+        RecordedText.check(
+                "settings/relay_config",
+                "looked up:\n" + String.join("\n", asked) + "\n\nmissing, of the above:\n"
+                        + String.join(
+                                "\n",
+                                faults.stream()
+                                        .map(f -> f.substring(0, f.indexOf(':')))
+                                        .toList()) + "\n\nwords that differ:\n" + words());
     }
 
     /** Of each key that takes a word: words with one meaning have one number, 0 what an absent key means; "fault" stands for no such word. */
     private static String words() {
-        Map<String, List<String>> words = Map.of("services.0.effect", List.of("repeatable", "by_key", "once", "odd"), "services.0.keyScope", List.of("all", "zone"),
-                "services.0.fifoByKey", List.of("true", "1", "false", "yes"), "extra.fades", List.of("line", "halves", "odd"),
-                "weightKind", List.of("nominal", "rough", "silent", "odd"), "discovery", List.of("push", "ask", "odd"), "limits.mayCancel", List.of("true", "1", "false"),
-                "extra.kindApart", List.of("true", "false"), "limits.secondCopies", List.of("true", "1", "false"));
+        Map<String, List<String>> words = Map.of(
+                "services.0.effect",
+                List.of("repeatable", "by_key", "once", "odd"),
+                "services.0.keyScope",
+                List.of("all", "zone"),
+                "services.0.fifoByKey",
+                List.of("true", "1", "false", "yes"),
+                "extra.fades",
+                List.of("line", "halves", "odd"),
+                "weightKind",
+                List.of("nominal", "rough", "silent", "odd"),
+                "discovery",
+                List.of("push", "ask", "odd"),
+                "limits.mayCancel",
+                List.of("true", "1", "false"),
+                "extra.kindApart",
+                List.of("true", "false"),
+                "limits.secondCopies",
+                List.of("true", "1", "false"));
         StringBuilder all = new StringBuilder();
         for (String key : new TreeSet<>(words.keySet())) {
             List<Object> meanings = new ArrayList<>(List.of(settings(key, "-")));
@@ -86,7 +165,10 @@
                 if (!meanings.contains(meaning)) {
                     meanings.add(meaning);
                 }
-                all.append(' ').append(word).append(' ').append(meaning.equals("fault") ? "fault" : meanings.indexOf(meaning));
+                all.append(' ')
+                        .append(word)
+                        .append(' ')
+                        .append(meaning.equals("fault") ? "fault" : meanings.indexOf(meaning));
             }
             all.append('\n');
         }
@@ -94,7 +176,17 @@
     }
 
     private static Object settings(String key, String word) {
-        Map<String, String> values = new HashMap<>(Map.of("services.count", "1", "services.0.effect", "by_key", "extra.callSlots", "1", "services.0.giveUpNs", "2", "services.0.targetNs", "1"));
+        Map<String, String> values = new HashMap<>(Map.of(
+                "services.count",
+                "1",
+                "services.0.effect",
+                "by_key",
+                "extra.callSlots",
+                "1",
+                "services.0.giveUpNs",
+                "2",
+                "services.0.targetNs",
+                "1"));
         values.put(key, word);
         try {
             return new SettingsMap(values).settings();
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -39,7 +39,7 @@
 
     private void churn() throws IOException {
         for (int i = 0; i < 2_000; i++) {
-            Stream.Message m = message("churn" + i, 500, -1);   // its end need not be remembered
+            Stream.Message m = message("churn" + i, 500, -1); // its end need not be remembered
             assertTrue(journal.taken(m), "no room for " + i);
             journal.ended(m, Answer.DELIVERED, true);
             assertTrue(Files.size(folder.resolve("journal")) <= CAP);
@@ -63,7 +63,8 @@
         churn();
         again();
         List<Stream> back = journal.unfinished(java.util.Set.of());
-        assertEquals(List.of("a2true", "b1false", "c1true"),
+        assertEquals(
+                List.of("a2true", "b1false", "c1true"),
                 back.stream().map(s -> s.id() + s.attempts + s.mayHaveRun).toList());
         Stream a = back.get(0);
         assertEquals(100, a.message.body().length);
@@ -88,8 +89,11 @@
         again();
         assertNull(journal.answer("r"));
         assertEquals(Answer.FAILED, journal.answer("f"));
-        assertEquals(List.of("u9"), journal.owed().entrySet().stream()
-                .map(e -> e.getKey().id() + e.getValue().againNs()).toList());
+        assertEquals(
+                List.of("u9"),
+                journal.owed().entrySet().stream()
+                        .map(e -> e.getKey().id() + e.getValue().againNs())
+                        .toList());
         assertEquals(List.of(), journal.unfinished(java.util.Set.of()));
     }
 
@@ -130,14 +134,28 @@
 
     private Stream.Message keyed(String id, String same, long liveS) {
         Stream.Message m = message(id, 50, liveS);
-        return new Stream.Message(id, m.front(), m.cls(), m.tenant(), m.destination(), m.deadline(), m.rememberUntil(), false, false, "", m.body(), same);
+        return new Stream.Message(
+                id,
+                m.front(),
+                m.cls(),
+                m.tenant(),
+                m.destination(),
+                m.deadline(),
+                m.rememberUntil(),
+                false,
+                false,
+                "",
+                m.body(),
+                same);
     }
 
     /** Keys, copies that wait and the schemes in use outlast compaction and restart; a refused one's key is free again. */
     @Test
     void keysComeBackAsTheyWere() throws IOException {
         assertTrue(journal.scheme("s0", new byte[300]) && journal.scheme("s1", new byte[300]));
-        Stream.Message delivered = keyed("d", "s1:d", 60), refused = keyed("r", "s1:r", 60), pending = keyed("p", "s1:p", 60);
+        Stream.Message delivered = keyed("d", "s1:d", 60),
+                refused = keyed("r", "s1:r", 60),
+                pending = keyed("p", "s1:p", 60);
         for (Stream.Message m : List.of(delivered, refused, pending)) {
             assertTrue(journal.taken(m));
         }
@@ -149,8 +167,14 @@
             assertEquals(Answer.DELIVERED, journal.answerOf("s1:d"));
             assertNull(journal.answerOf("s1:r"));
             assertNull(journal.answerOf("s1:p"));
-            assertEquals(List.of("p s1:p"), journal.unfinished(java.util.Set.of()).stream().map(x -> x.id() + " " + x.message.same()).toList());
-            assertEquals(List.of("copy s1:p"), journal.joined().stream().map(x -> x.id() + " " + x.same()).toList());
+            assertEquals(
+                    List.of("p s1:p"),
+                    journal.unfinished(java.util.Set.of()).stream()
+                            .map(x -> x.id() + " " + x.message.same())
+                            .toList());
+            assertEquals(
+                    List.of("copy s1:p"),
+                    journal.joined().stream().map(x -> x.id() + " " + x.same()).toList());
             assertEquals(java.util.Set.of("s1", "s2"), journal.schemes().keySet());
             if (round == 1) {
                 churn();
--- a/src/test/java/elderseam/core/LatenessTest.java
+++ b/src/test/java/elderseam/core/LatenessTest.java
@@ -8,7 +8,7 @@
 
 /** When a thread counts as late, and what time it was away. */
 class LatenessTest {
-    private static final long START = -7_000_000_000L;   // nanoTime may be negative
+    private static final long START = -7_000_000_000L; // nanoTime may be negative
     private final Lateness lateness = new Lateness(START);
 
     @Test
--- a/src/test/java/elderseam/core/RecoveryTest.java
+++ b/src/test/java/elderseam/core/RecoveryTest.java
@@ -23,7 +23,8 @@
     }
 
     private static Stream stream(String id, int cls, long deadline, boolean mayHaveRun, long keyUntil) {
-        Stream s = new Stream(new Stream.Message(id, (byte) 0, cls, 0, 1, deadline, deadline, false, true, "", new byte[0]));
+        Stream s = new Stream(
+                new Stream.Message(id, (byte) 0, cls, 0, 1, deadline, deadline, false, true, "", new byte[0]));
         s.mayHaveRun = mayHaveRun;
         s.keyUntil = keyUntil;
         return s;
@@ -33,11 +34,19 @@
     @Test
     void whichEndsAreKnown() {
         record Case(boolean known, int cls, long left, boolean mayHaveRun, long keyLeft) {}
-        for (Case c : List.of(new Case(false, 0, S, true, 0), new Case(false, 1, S, false, 0), new Case(false, 1, S, true, 1),
-                new Case(true, 1, S, true, 0), new Case(false, 2, S, false, 0), new Case(true, 2, S, true, S),
-                new Case(true, 0, 0, false, 0), new Case(true, 2, -S, false, 0))) {
-            assertEquals(c.known, Recovery.endKnown(stream("x", c.cls, NOW + c.left, c.mayHaveRun, NOW + c.keyLeft), CLASSES,
-                    NOW), c.toString());
+        for (Case c : List.of(
+                new Case(false, 0, S, true, 0),
+                new Case(false, 1, S, false, 0),
+                new Case(false, 1, S, true, 1),
+                new Case(true, 1, S, true, 0),
+                new Case(false, 2, S, false, 0),
+                new Case(true, 2, S, true, S),
+                new Case(true, 0, 0, false, 0),
+                new Case(true, 2, -S, false, 0))) {
+            assertEquals(
+                    c.known,
+                    Recovery.endKnown(stream("x", c.cls, NOW + c.left, c.mayHaveRun, NOW + c.keyLeft), CLASSES, NOW),
+                    c.toString());
         }
     }
 
@@ -56,15 +65,22 @@
             stages += recovery.stage() == stage ? 0 : 1;
             stage = recovery.stage();
             List<Stream> portion = recovery.next();
-            assertTrue(!portion.isEmpty() && portion.size() <= (stage == Stage.ENDS ? 256 : 40), "portion of " + portion.size());
+            assertTrue(
+                    !portion.isEmpty() && portion.size() <= (stage == Stage.ENDS ? 256 : 40),
+                    "portion of " + portion.size());
             for (Stream s : portion) {
                 assertEquals(stage == Stage.ENDS, Recovery.endKnown(s, CLASSES, NOW), s.id());
             }
             if (stage == Stage.OTHERS || fed.isEmpty()) {
-                assertTrue(Collections.max(portion.stream().map(s -> s.message.deadline()).toList())
-                        <= left.stream().filter(s -> !fed.contains(s) && !portion.contains(s))
-                        .filter(s -> Recovery.endKnown(s, CLASSES, NOW) == Recovery.endKnown(portion.get(0), CLASSES, NOW))
-                        .mapToLong(s -> s.message.deadline()).min().orElse(Long.MAX_VALUE));
+                assertTrue(Collections.max(
+                                portion.stream().map(s -> s.message.deadline()).toList())
+                        <= left.stream()
+                                .filter(s -> !fed.contains(s) && !portion.contains(s))
+                                .filter(s -> Recovery.endKnown(s, CLASSES, NOW)
+                                        == Recovery.endKnown(portion.get(0), CLASSES, NOW))
+                                .mapToLong(s -> s.message.deadline())
+                                .min()
+                                .orElse(Long.MAX_VALUE));
             }
             fed.addAll(portion);
             recovery.took(Clock.MS);
@@ -105,7 +121,9 @@
         recovery.next();
         assertFalse(recovery.ready(NOW, 1));
         assertTrue(recovery.ready(NOW, 0));
-        assertTrue(new Recovery(List.of(stream("b", 2, NOW + S, false, 0)), CLASSES, 4, NOW).ready(NOW, 0), "nothing is due now");
+        assertTrue(
+                new Recovery(List.of(stream("b", 2, NOW + S, false, 0)), CLASSES, 4, NOW).ready(NOW, 0),
+                "nothing is due now");
         assertFalse(new Recovery(List.of(), CLASSES, 4, NOW).ready(recovery.latest() - 1, 1));
         assertTrue(recovery.ready(recovery.latest(), 1));
     }
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RelayTest.java
@@ -8,8 +8,8 @@
 import elderseam.core.UpstreamRequest.End;
 import elderseam.core.UpstreamRequest.Progress;
 import elderseam.core.UpstreamRequest.Status;
-import elderseam.module.Sender;
 import elderseam.emulator.MemoryStore;
+import elderseam.module.Sender;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -47,9 +47,24 @@
     }
 
     private Relay another(Journal journal) {
-        Sender.Settings settings = new SettingsMap(Map.of("discovery", "ask", "extra.callSlots", "40", "limits.mostHeld", "64",
-                "limits.maxAttempts", "3", "services.count", "1", "services.0.effect", "once", "services.0.targetNs",
-                "2000000000", "services.0.giveUpNs", "9000000000")).settings();
+        Sender.Settings settings = new SettingsMap(Map.of(
+                        "discovery",
+                        "ask",
+                        "extra.callSlots",
+                        "40",
+                        "limits.mostHeld",
+                        "64",
+                        "limits.maxAttempts",
+                        "3",
+                        "services.count",
+                        "1",
+                        "services.0.effect",
+                        "once",
+                        "services.0.targetNs",
+                        "2000000000",
+                        "services.0.giveUpNs",
+                        "9000000000"))
+                .settings();
         Relay relay = new Relay(settings, 1, journal, clock, new Loop() {
             @Override
             public void at(long time, Runnable task) {
@@ -78,8 +93,7 @@
             }
 
             @Override
-            public void closeIdle(String host) {
-            }
+            public void closeIdle(String host) {}
         });
         return relay;
     }
@@ -99,8 +113,8 @@
     /** A tick that comes early must leave one timer, not one more for each: they would add up for ever. */
     @Test
     void timersDoNotAddUp() {
-        take("a");   // its call may come to be overdue: a tick in a second
-        out.get(0).accept(new End(Progress.ANSWERED, Status.NO_SLOT, 0, 0, 0));   // to be tried again: one in 5 ms
+        take("a"); // its call may come to be overdue: a tick in a second
+        out.get(0).accept(new End(Progress.ANSWERED, Status.NO_SLOT, 0, 0, 0)); // to be tried again: one in 5 ms
         assertEquals(2, timers.size());
         for (int round = 0; round < 5; round++) {
             List<Runnable> due = List.copyOf(timers);
@@ -150,52 +164,54 @@
      */
     @Test
     void anAttemptTheJournalCouldNotRecordBlamesNoHost() throws Exception {
-        int[] writes = new int[1];   // so many more succeed
+        int[] writes = new int[1]; // so many more succeed
         MemoryStore memory = new MemoryStore();
-        relay = another(new Journal(new JournalStore() {
-            @Override
-            public JournalStore aside(String name) {
-                return new MemoryStore();
-            }
-
-            public long length() {
-                return memory.length();
-            }
-
-            public int read(ByteBuffer to, long at) {
-                return memory.read(to, at);
-            }
-
-            public void write(byte[] bytes, long at) throws IOException {
-                if (writes[0]-- <= 0) {
-                    throw new IOException("no space left on device");
-                }
-                memory.write(bytes, at);
-            }
-
-            public void truncate(long length) {
-                memory.truncate(length);
-            }
-
-            public JournalStore fresh() {
-                return memory.fresh();
-            }
-
-            public void replace(JournalStore fresh) {
-                memory.replace(fresh);
-            }
-
-            public void discard() {
-                memory.discard();
-            }
-
-            public void close() {
-            }
-        }, 1_000_000, clock));
+        relay = another(new Journal(
+                new JournalStore() {
+                    @Override
+                    public JournalStore aside(String name) {
+                        return new MemoryStore();
+                    }
+
+                    public long length() {
+                        return memory.length();
+                    }
+
+                    public int read(ByteBuffer to, long at) {
+                        return memory.read(to, at);
+                    }
+
+                    public void write(byte[] bytes, long at) throws IOException {
+                        if (writes[0]-- <= 0) {
+                            throw new IOException("no space left on device");
+                        }
+                        memory.write(bytes, at);
+                    }
+
+                    public void truncate(long length) {
+                        memory.truncate(length);
+                    }
+
+                    public JournalStore fresh() {
+                        return memory.fresh();
+                    }
+
+                    public void replace(JournalStore fresh) {
+                        memory.replace(fresh);
+                    }
+
+                    public void discard() {
+                        memory.discard();
+                    }
+
+                    public void close() {}
+                },
+                1_000_000,
+                clock));
         writes[0] = 1_000;
         relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
         for (String id : List.of("a", "b", "c", "d", "e")) {
-            writes[0] = 1;   // its record, not that of its attempt
+            writes[0] = 1; // its record, not that of its attempt
             assertNull(take(id));
             settle();
         }
@@ -236,7 +252,7 @@
         assertEquals(1, out.size());
         Relay next = another();
         next.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
-        next.recover(() -> 0, () -> { });
+        next.recover(() -> 0, () -> {});
         settle();
         assertEquals(1, out.size(), "not sent again");
         assertEquals(List.of("a FAILED"), ended);
@@ -260,7 +276,7 @@
     @Test
     void aLateAnswerTellsItsWaitAndItsDelivery() {
         take("a");
-        out.get(0).accept(End.unanswered(Progress.NOT_CONNECTED, Status.BROKEN));   // to be tried again
+        out.get(0).accept(End.unanswered(Progress.NOT_CONNECTED, Status.BROKEN)); // to be tried again
         attempts.get(0).answeredLate(new End(Progress.ANSWERED, Status.FULL, 3_000 * Clock.MS, 0, 0));
         settle();
         take("b");
@@ -298,7 +314,7 @@
         List<String> abandoned = new ArrayList<>();
         next.handover().takeOver(estate, o -> abandoned.add(o.id()));
         next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
-        next.recover(() -> 0, () -> { });
+        next.recover(() -> 0, () -> {});
         assertEquals(List.of(2, 2), List.of(next.held(), next.out()));
         assertEquals(2, out.size(), "nothing is sent again");
         out.get(0).accept(DELIVERED);
@@ -323,14 +339,14 @@
         List<Handover.Passed> told = new ArrayList<>();
         relay.handover().passOn(told::add);
         out.get(0).accept(DELIVERED);
-        Files.write(folder.resolve("journal"), new byte[7]);   // what the other did before it ended
+        Files.write(folder.resolve("journal"), new byte[7]); // what the other did before it ended
         relay.handover().keep(told);
         assertEquals(List.of("a DELIVERED"), ended);
         assertNull(take("b"));
         assertEquals(2, out.size());
         out.get(1).accept(DELIVERED);
         Relay next = another();
-        next.recover(() -> 0, () -> { });
+        next.recover(() -> 0, () -> {});
         assertEquals(0, next.held());
         assertEquals(List.of("a DELIVERED", "b DELIVERED"), ended);
     }
@@ -345,7 +361,7 @@
         assertEquals(0, out.size());
         relay = another();
         relay.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
-        relay.recover(() -> 0, () -> { });
+        relay.recover(() -> 0, () -> {});
         assertEquals(0, out.size());
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=1"));
         assertEquals(Relay.Detaching.DONE, relay.detach("h", false));
@@ -360,7 +376,7 @@
     /** While much is taken back, answers that are read in one pass are decided on together. */
     @Test
     void answersOfOnePassShareATurnDuringRecovery() {
-        relay.recover(() -> 1, () -> { });   // a notice is untold: recovery goes on
+        relay.recover(() -> 1, () -> {}); // a notice is untold: recovery goes on
         for (int i = 0; i < 6; i++) {
             take("m" + i);
         }
@@ -371,7 +387,8 @@
 
     private Answer take(String id, String same, String... also) {
         long by = clock.now() + 9_000 * Clock.MS;
-        return relay.take(new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, false, "", new byte[0], same), List.of(also));
+        return relay.take(
+                new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, false, "", new byte[0], same), List.of(also));
     }
 
     /** Those with one key: one call; its end is each one's end, and a later one's at once. */
@@ -421,7 +438,7 @@
             out.get(out.size() - 1).accept(new End(Progress.NOT_CONNECTED, Status.BROKEN, 0, 0, 0));
         }
         assertEquals(Sender.Standing.OPEN, standing(relay));
-        List.copyOf(timers).forEach(Runnable::run);   // the keeping is among them
+        List.copyOf(timers).forEach(Runnable::run); // the keeping is among them
     }
 
     /** The next process on the folder; {@code list}: what it knows of hosts. */
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -24,8 +24,10 @@
 
 /** The journal and the file of what was learned, as an earlier build left them: read, and written again byte for byte. */
 class StoredFormatTest {
-    private static final String RECORDS = "journal/records.hex", COMPACTED = "journal/compacted.hex",
-            AFTER_RESTART = "learned/after-restart.hex", VALUES = "learned/values.hex";
+    private static final String RECORDS = "journal/records.hex",
+            COMPACTED = "journal/compacted.hex",
+            AFTER_RESTART = "learned/after-restart.hex",
+            VALUES = "learned/values.hex";
     private static final long S = 1_000 * Clock.MS, CAP = 1_000_000;
     private static final byte[] SCHEME = "orders = request.headers['x-order']".getBytes(StandardCharsets.UTF_8);
     /** Layout 1, two classes, two kinds, two tenants. */
@@ -44,8 +46,19 @@
     }
 
     private Stream.Message message(String id, int number, String same) {
-        return new Stream.Message(id, (byte) number, number + 1, number + 2, number + 300L, clock.now() + (number + 10) * S,
-                clock.now() + (number + 20) * S, number % 2 == 0, number % 2 == 1, "key " + id, ("body " + id).getBytes(StandardCharsets.UTF_8), same);
+        return new Stream.Message(
+                id,
+                (byte) number,
+                number + 1,
+                number + 2,
+                number + 300L,
+                clock.now() + (number + 10) * S,
+                clock.now() + (number + 20) * S,
+                number % 2 == 0,
+                number % 2 == 1,
+                "key " + id,
+                ("body " + id).getBytes(StandardCharsets.UTF_8),
+                same);
     }
 
     /** Every type of record, and every kind of end. */
@@ -73,12 +86,16 @@
     /** All that it knows. Names of constants are not of the format, so their numbers stand here. */
     private List<String> known(Journal journal) {
         List<String> known = new ArrayList<>();
-        journal.schemes().forEach((name, text) -> known.add("scheme " + name + " " + new String(text, StandardCharsets.UTF_8)));
+        journal.schemes()
+                .forEach((name, text) -> known.add("scheme " + name + " " + new String(text, StandardCharsets.UTF_8)));
         journal.detached().forEach(host -> known.add("detached " + host));
-        journal.unfinished(Set.of()).forEach(s -> known.add("unfinished " + text(s.message) + " attempts " + s.attempts + " ran " + s.mayHaveRun
-                + " at " + clock.toWall(s.keyUntil)));
+        journal.unfinished(Set.of())
+                .forEach(s -> known.add("unfinished " + text(s.message) + " attempts " + s.attempts + " ran "
+                        + s.mayHaveRun + " at " + clock.toWall(s.keyUntil)));
         journal.joined().forEach(m -> known.add("joined " + text(m)));
-        journal.owed().forEach((m, a) -> known.add("owed " + m.id() + " " + m.front() + " " + clock.toWall(m.rememberUntil())));
+        journal.owed()
+                .forEach((m, a) ->
+                        known.add("owed " + m.id() + " " + m.front() + " " + clock.toWall(m.rememberUntil())));
         for (int i = 0; i < 5; i++) {
             Answer a = journal.answer("m" + i);
             known.add("answer m" + i + " " + (a == null ? "none" : a.kind().ordinal() + " " + a.againNs()));
@@ -87,8 +104,20 @@
     }
 
     private String text(Stream.Message m) {
-        return String.join(" ", m.id(), "" + m.front(), "" + m.cls(), "" + m.tenant(), "" + m.destination(), "" + clock.toWall(m.deadline()),
-                "" + clock.toWall(m.rememberUntil()), "" + m.again(), "" + m.heedsWindow(), m.key(), new String(m.body(), StandardCharsets.UTF_8), m.same());
+        return String.join(
+                " ",
+                m.id(),
+                "" + m.front(),
+                "" + m.cls(),
+                "" + m.tenant(),
+                "" + m.destination(),
+                "" + clock.toWall(m.deadline()),
+                "" + clock.toWall(m.rememberUntil()),
+                "" + m.again(),
+                "" + m.heedsWindow(),
+                m.key(),
+                new String(m.body(), StandardCharsets.UTF_8),
+                m.same());
     }
 
     private Journal read(String name) throws IOException {
@@ -112,7 +141,7 @@
 
     @Test
     void theJournalIsReadAsBefore() throws IOException {
-        write(new Journal(new MemoryStore(), CAP, clock));   // moves the clock
+        write(new Journal(new MemoryStore(), CAP, clock)); // moves the clock
         Set<Byte> types = new TreeSet<>();
         for (String name : List.of(RECORDS, COMPACTED)) {
             Recorded.records(name).forEach(r -> types.add(r[JournalRecords.HEAD]));
@@ -131,7 +160,9 @@
         new Learned(journal.aside("learned"), SHAPE).keep(new byte[1]);
         journal.close();
         try (java.util.stream.Stream<Path> files = Files.list(folder)) {
-            assertEquals("[journal, learned, owner]", files.map(f -> f.getFileName().toString()).sorted().toList().toString());
+            assertEquals(
+                    "[journal, learned, owner]",
+                    files.map(f -> f.getFileName().toString()).sorted().toList().toString());
         }
     }
 
@@ -175,7 +206,7 @@
         long keptAt = java.nio.ByteBuffer.wrap(kept).getLong();
         CoreProcess next = new CoreProcess(store, new ManualClock(keptAt + 2 * S));
         next.relay.handover().remember();
-        next.pass(S);   // it keeps what it has learned, which is that
+        next.pass(S); // it keeps what it has learned, which is that
         Recorded.assertBytes(AFTER_RESTART, CoreProcess.bytes(store.aside("learned")));
     }
 }
--- a/src/test/java/elderseam/deploy/ServeScriptTest.java
+++ b/src/test/java/elderseam/deploy/ServeScriptTest.java
@@ -27,7 +27,11 @@
 
     private void tells(String config, String heap, String direct) throws Exception {
         String told = arguments(config);
-        assertTrue(told.contains("-Xmx" + heap) && told.contains("MaxDirectMemorySize=" + direct) && told.contains(" serve"), told);
+        assertTrue(
+                told.contains("-Xmx" + heap)
+                        && told.contains("MaxDirectMemorySize=" + direct)
+                        && told.contains(" serve"),
+                told);
     }
 
     /** A heap of 64 MB under any limit would have the process killed under a small one. */
@@ -43,8 +47,12 @@
     @Test
     void itForksNothing() throws Exception {
         String script = Files.readString(Path.of("deploy/serve.sh"));
-        assertTrue(!script.matches("(?s).*\\$\\((?!\\().*") && !script.contains("`"), "a command substitution in deploy/serve.sh");
-        assertTrue(script.strip().lines().filter(l -> l.startsWith("exec java ")).count() == 1, "no exec java in deploy/serve.sh");
+        assertTrue(
+                !script.matches("(?s).*\\$\\((?!\\().*") && !script.contains("`"),
+                "a command substitution in deploy/serve.sh");
+        assertTrue(
+                script.strip().lines().filter(l -> l.startsWith("exec java ")).count() == 1,
+                "no exec java in deploy/serve.sh");
     }
 
     /** An archive that is not there, or is none, must cost no start and no line where the program's are expected. */
@@ -54,9 +62,18 @@
         assertTrue(told.contains("-Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa"), told);
         Path junk = Files.writeString(folder.resolve("junk.jsa"), "no archive".repeat(1_000));
         for (String file : List.of(junk.toString(), folder.resolve("none.jsa").toString())) {
-            Process java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
-                    "-XX:SharedArchiveFile=" + file, "-Xlog:cds=off", "-Xlog:cds+dynamic=off", "-XX:+UseSerialGC", "-cp",
-                    System.getProperty("java.class.path"), "elderseam.Main").start();
+            Process java = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xshare:auto",
+                            "-XX:SharedArchiveFile=" + file,
+                            "-Xlog:cds=off",
+                            "-Xlog:cds+dynamic=off",
+                            "-XX:+UseSerialGC",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            "elderseam.Main")
+                    .start();
             String out = new String(java.getInputStream().readAllBytes());
             String err = new String(java.getErrorStream().readAllBytes());
             assertEquals(2, java.waitFor(), "its own usage fault: it has started; " + err);
--- a/src/test/java/elderseam/emulator/CheckersTest.java
+++ b/src/test/java/elderseam/emulator/CheckersTest.java
@@ -43,14 +43,18 @@
                     endpoints.putIfAbsent(e.destination(), e.address());
                 }
             }
-            list.stream().filter(e -> !draining.contains(e.address())).forEach(e -> endpoints.putIfAbsent(e.destination(), e.address()));
+            list.stream()
+                    .filter(e -> !draining.contains(e.address()))
+                    .forEach(e -> endpoints.putIfAbsent(e.destination(), e.address()));
         }
 
         @Override
         public Answer take(Stream.Message m) {
             long now = place.time().now();
             boolean waits = now < this.waits.getOrDefault(m.destination(), 0L) && fault != Rule.WAIT_BROKEN;
-            if (waits || !endpoints.containsKey(m.destination()) || out >= place.plan().fleet().slots() && fault != Rule.ABOVE_SLOTS) {
+            if (waits
+                    || !endpoints.containsKey(m.destination())
+                    || out >= place.plan().fleet().slots() && fault != Rule.ABOVE_SLOTS) {
                 return Answer.refused(1);
             }
             send(m, 0, m.deadline() - 100_000_000);
@@ -75,8 +79,7 @@
                 }
 
                 @Override
-                public void answeredLate(UpstreamRequest.End end) {
-                }
+                public void answeredLate(UpstreamRequest.End end) {}
             });
             if (fault == Rule.TWO_OUT && attempt == 0 && m.id().equals("m100")) {
                 place.send(m, endpoints.get(m.destination()), by, by, new Attempt() {
@@ -86,12 +89,10 @@
                     }
 
                     @Override
-                    public void ended(UpstreamRequest.End end) {
-                    }
+                    public void ended(UpstreamRequest.End end) {}
 
                     @Override
-                    public void answeredLate(UpstreamRequest.End end) {
-                    }
+                    public void answeredLate(UpstreamRequest.End end) {}
                 });
             }
         }
@@ -144,7 +145,7 @@
     private static Checkers play(Rule fault) throws Exception {
         Plan plan = PlanFile.of("planted", PLAN.lines().toList(), Map.of());
         Checkers checkers = new Checkers(plan.fleet().slots());
-        new World(plan, (place, store, seed) -> new Faulty(place, fault), 1, List.of(checkers)).run(s -> { });
+        new World(plan, (place, store, seed) -> new Faulty(place, fault), 1, List.of(checkers)).run(s -> {});
         return checkers;
     }
 
@@ -152,7 +153,8 @@
     @EnumSource(Rule.class)
     void aPlantedFaultIsCaught(Rule fault) throws Exception {
         Checkers c = play(fault);
-        assertTrue(c.broken().getOrDefault(fault, 0) > 0, () -> fault + " is not among " + c.broken() + "\n" + c.words());
+        assertTrue(
+                c.broken().getOrDefault(fault, 0) > 0, () -> fault + " is not among " + c.broken() + "\n" + c.words());
         assertTrue(c.words().contains(fault.name()), c.words());
     }
 
