--- a/src/test/java/elderseam/emulator/WorldTest.java
+++ b/src/test/java/elderseam/emulator/WorldTest.java
@@ -40,12 +40,13 @@
     private static Map<String, Double> play(String more, String policy, long seed, Checkers checkers) throws Exception {
         Plan plan = PlanFile.of("small", (BASE + more).lines().toList(), Map.of());
         Tally tally = new Tally(plan);
-        new World(plan, policy, seed, List.of(tally, checkers)).run(s -> { });
+        new World(plan, policy, seed, List.of(tally, checkers)).run(s -> {});
         return tally.figures();
     }
 
     private static String trouble(Plan.Fault fault) {
-        return "[trouble t]\nkind = bank\npart = 0.5\nat = 8\nfor = 6\nfault = " + fault.name().toLowerCase() + "\n";
+        return "[trouble t]\nkind = bank\npart = 0.5\nat = 8\nfor = 6\nfault = "
+                + fault.name().toLowerCase() + "\n";
     }
 
     /** The real core, through each kind of trouble with a kill in it: no rule is broken, and what is left is served. */
@@ -53,7 +54,11 @@
     @EnumSource(Plan.Fault.class)
     void theModuleKeepsTheRulesInEachTrouble(Plan.Fault fault) throws Exception {
         Checkers c = new Checkers(64);
-        Map<String, Double> f = play(trouble(fault) + "[restart r]\nat = 10\nwithin = 2\npart = 0.6\nhow = kill\n[network n]\nloss = 0.01\n", "module", 1, c);
+        Map<String, Double> f = play(
+                trouble(fault) + "[restart r]\nat = 10\nwithin = 2\npart = 0.6\nhow = kill\n[network n]\nloss = 0.01\n",
+                "module",
+                1,
+                c);
         assertEquals(Map.of(), c.broken(), c.words());
         assertTrue(f.get("service") > 0.75 && f.get("messages") > 1_000, f.toString());
     }
@@ -62,8 +67,13 @@
     @ValueSource(strings = {"arrivals = bursty", "arrivals = clumped", "arrivals = diurnal\nmonth_end = on"})
     void theModuleKeepsTheRulesHoweverMessagesArrive(String arrivals) throws Exception {
         Checkers c = new Checkers(64);
-        play(arrivals + "\n[flood f]\ntenant = 2\nfactor = 5.9\nat = 5\nfor = 10\n[restart r]\nat = 12\nwithin = 2\npart = 1\nhow = term\n"
-                + "[drain d]\nkind = bank\npart = 0.5\nat = 6\n[discovery d]\nlate_ms = 400\ndown_at = 5\ndown_for = 4\nwrong = 0.2\n", "module", 2, c);
+        play(
+                arrivals
+                        + "\n[flood f]\ntenant = 2\nfactor = 5.9\nat = 5\nfor = 10\n[restart r]\nat = 12\nwithin = 2\npart = 1\nhow = term\n"
+                        + "[drain d]\nkind = bank\npart = 0.5\nat = 6\n[discovery d]\nlate_ms = 400\ndown_at = 5\ndown_for = 4\nwrong = 0.2\n",
+                "module",
+                2,
+                c);
         assertEquals(Map.of(), c.broken(), c.words());
     }
 
@@ -71,12 +81,16 @@
     @ParameterizedTest
     @ValueSource(ints = {8, 48})
     void aFleetOutlivesAMassKill(int dispatchers) throws Exception {
-        Plan plan = PlanFile.of("herd", (BASE.replace("dispatchers = 3", "dispatchers = " + dispatchers) + trouble(Plan.Fault.FAIL)
-                + "[restart r]\nat = 12\nwithin = 0.5\npart = 0.8\nhow = kill\n[discovery d]\nlate_ms = 400\ndown_at = 12\ndown_for = 4\n")
-                .lines().toList(), Map.of());
+        Plan plan = PlanFile.of(
+                "herd",
+                (BASE.replace("dispatchers = 3", "dispatchers = " + dispatchers) + trouble(Plan.Fault.FAIL)
+                                + "[restart r]\nat = 12\nwithin = 0.5\npart = 0.8\nhow = kill\n[discovery d]\nlate_ms = 400\ndown_at = 12\ndown_for = 4\n")
+                        .lines()
+                        .toList(),
+                Map.of());
         Checkers c = new Checkers(64);
         Tally tally = new Tally(plan);
-        new World(plan, "module", 4, List.of(tally, c)).run(s -> { });
+        new World(plan, "module", 4, List.of(tally, c)).run(s -> {});
         Map<String, Double> f = tally.figures();
         assertEquals(Map.of(), c.broken(), c.words());
         assertTrue(f.get("service") > 0.7, f.toString());
@@ -87,7 +101,10 @@
     @Test
     void oneSeedGivesOneCourse() throws Exception {
         for (String policy : Policies.names()) {
-            assertEquals(play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)), play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)), policy);
+            assertEquals(
+                    play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)),
+                    play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)),
+                    policy);
         }
         assertNotEquals(play("", "module", 3, new Checkers(64)), play("", "module", 4, new Checkers(64)));
     }
@@ -95,8 +112,10 @@
     /** What hangs and what is felled costs plain retries dear, and the module little; who knows all loses least. */
     @Test
     void policiesStandInTheirOrder() throws Exception {
-        String day = trouble(Plan.Fault.HANG) + trouble(Plan.Fault.FAIL).replace("[trouble t]", "[trouble u]").replace("bank", "shop");
-        double module = play(day, "module", 1, new Checkers(64)).get("service"), robin = play(day, "robin", 1, new Checkers(64)).get("service"),
+        String day = trouble(Plan.Fault.HANG)
+                + trouble(Plan.Fault.FAIL).replace("[trouble t]", "[trouble u]").replace("bank", "shop");
+        double module = play(day, "module", 1, new Checkers(64)).get("service"),
+                robin = play(day, "robin", 1, new Checkers(64)).get("service"),
                 oracle = play(day, "oracle", 1, new Checkers(64)).get("service");
         assertTrue(module > robin && oracle > robin, "module " + module + ", robin " + robin + ", oracle " + oracle);
     }
@@ -104,8 +123,13 @@
     // ---------------------------------------------------------------- the model itself
 
     private static Destination destination(String values) throws SettingsFault {
-        Plan p = PlanFile.of("d", ("[kind k]\nerrors = 0\nspread = 0\nservice_ms = 10\n" + values).lines().toList(), Map.of());
-        return new Destination(1, p.kinds().get(0), 1, new Watcher() { });
+        Plan p = PlanFile.of(
+                "d",
+                ("[kind k]\nerrors = 0\nspread = 0\nservice_ms = 10\n" + values)
+                        .lines()
+                        .toList(),
+                Map.of());
+        return new Destination(1, p.kinds().get(0), 1, new Watcher() {});
     }
 
     private static Destination.Reply call(Destination d, long now) {
@@ -151,7 +175,12 @@
     @Test
     void aColdReturnFallsWhenPushed() throws Exception {
         int[] felled = new int[1];
-        Plan p = PlanFile.of("d", "[kind k]\nerrors = 0\nper_s = 100\nlimit = none\ncold_ms = 10000\nfall_ms = 1000".lines().toList(), Map.of());
+        Plan p = PlanFile.of(
+                "d",
+                "[kind k]\nerrors = 0\nper_s = 100\nlimit = none\ncold_ms = 10000\nfall_ms = 1000"
+                        .lines()
+                        .toList(),
+                Map.of());
         Destination d = new Destination(1, p.kinds().get(0), 1, new Watcher() {
             @Override
             public void felled(long now, long destination) {
@@ -188,15 +217,25 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"[scenario s]\nseconds = 0|a:2:11: scenario.s.seconds: '0' can't be used, allowed: 0.1 to", "[scenario s]|a: no kind of destination",
-        "[kind k]\nper_s = many|a:2:9: kind.k.per_s: 'many'", "[kind k]\ncolour = red|a:2:10: kind.k.colour: unknown key, allowed: destinations",
-        "[kind k]\n[trouble t]\nkind = b|a:3:8: trouble.t.kind: 'b' is no kind, allowed: k", "[kind k]\n[trouble t]\nkind = k\nfault = odd|a:4:9: trouble.t.fault: 'odd' can't be used, allowed: fail",
-        "[kind k]\ndestinations = 1.5|a:2:16: kind.k.destinations: '1.5' can't be used, allowed: a whole number", "[kind k]\ntold = yes|a:2:8: kind.k.told: 'yes'",
-        "[kind k]\n[fleet a]\n[fleet b]|a:3: fleet.b: a second fleet", "[kind k]\n[clients c]\nmix = 1 2|a:3:7: clients.c.mix: '1 2' can't be used",
-        "[kind k]\ndestinations = 60000\n[kind l]\ndestinations = 60000|a: 120000 destinations, allowed: 100000", "[kind k]\nper_s = 1\nper_s = 2|a:3:9: kind.k.per_s: told at line 2"})
+    @ValueSource(
+            strings = {
+                "[scenario s]\nseconds = 0|a:2:11: scenario.s.seconds: '0' can't be used, allowed: 0.1 to",
+                "[scenario s]|a: no kind of destination",
+                "[kind k]\nper_s = many|a:2:9: kind.k.per_s: 'many'",
+                "[kind k]\ncolour = red|a:2:10: kind.k.colour: unknown key, allowed: destinations",
+                "[kind k]\n[trouble t]\nkind = b|a:3:8: trouble.t.kind: 'b' is no kind, allowed: k",
+                "[kind k]\n[trouble t]\nkind = k\nfault = odd|a:4:9: trouble.t.fault: 'odd' can't be used, allowed: fail",
+                "[kind k]\ndestinations = 1.5|a:2:16: kind.k.destinations: '1.5' can't be used, allowed: a whole number",
+                "[kind k]\ntold = yes|a:2:8: kind.k.told: 'yes'",
+                "[kind k]\n[fleet a]\n[fleet b]|a:3: fleet.b: a second fleet",
+                "[kind k]\n[clients c]\nmix = 1 2|a:3:7: clients.c.mix: '1 2' can't be used",
+                "[kind k]\ndestinations = 60000\n[kind l]\ndestinations = 60000|a: 120000 destinations, allowed: 100000",
+                "[kind k]\nper_s = 1\nper_s = 2|a:3:9: kind.k.per_s: told at line 2"
+            })
     void faultsOfAScenarioAreTold(String line) {
         String[] part = line.split("\\|");
-        SettingsFault f = assertThrows(SettingsFault.class, () -> PlanFile.of("a", part[0].lines().toList(), Map.of()));
+        SettingsFault f = assertThrows(
+                SettingsFault.class, () -> PlanFile.of("a", part[0].lines().toList(), Map.of()));
         assertTrue(f.faults().stream().anyMatch(x -> x.startsWith(part[1])), f.faults()::toString);
     }
 }
--- a/src/test/java/elderseam/figures/GossipFigures.java
+++ b/src/test/java/elderseam/figures/GossipFigures.java
@@ -14,8 +14,9 @@
     private GossipFigures() {}
 
     public static void main(String[] args) {
-        System.out.println("dispatchers lying | service off on, worst and median difference | failed calls median (worst) off on"
-                + " | refusals median (worst) off on | calls while down off on | felled off on | rules broken");
+        System.out.println(
+                "dispatchers lying | service off on, worst and median difference | failed calls median (worst) off on"
+                        + " | refusals median (worst) off on | calls while down off on | felled off on | rules broken");
         for (int[] f : FLEETS) {
             List<Service> off = runs(f, false), on = runs(f, true);
             List<Double> differences = new ArrayList<>();
@@ -23,16 +24,31 @@
                 differences.add(on.get(i).service() - off.get(i).service());
             }
             differences.sort(null);
-            System.out.printf("%2d %d | %.4f %.4f, %.4f %.4f | %s %s | %s %s | %.0f %.0f | %.0f %.0f | %.0f%n", f[0], f[1], mean(off), mean(on),
-                    differences.get(0), (differences.get(SEEDS / 2 - 1) + differences.get(SEEDS / 2)) / 2, spread(off, Service::failedCalls),
-                    spread(on, Service::failedCalls), spread(off, Service::refusals), spread(on, Service::refusals),
-                    sum(off, Service::callsWhileDown), sum(on, Service::callsWhileDown), sum(off, Service::felled), sum(on, Service::felled),
+            System.out.printf(
+                    "%2d %d | %.4f %.4f, %.4f %.4f | %s %s | %s %s | %.0f %.0f | %.0f %.0f | %.0f%n",
+                    f[0],
+                    f[1],
+                    mean(off),
+                    mean(on),
+                    differences.get(0),
+                    (differences.get(SEEDS / 2 - 1) + differences.get(SEEDS / 2)) / 2,
+                    spread(off, Service::failedCalls),
+                    spread(on, Service::failedCalls),
+                    spread(off, Service::refusals),
+                    spread(on, Service::refusals),
+                    sum(off, Service::callsWhileDown),
+                    sum(on, Service::callsWhileDown),
+                    sum(off, Service::felled),
+                    sum(on, Service::felled),
                     sum(off, Service::broken) + sum(on, Service::broken));
         }
     }
 
     private static List<Service> runs(int[] fleet, boolean gossip) {
-        return IntStream.rangeClosed(1, SEEDS).parallel().mapToObj(seed -> Service.run(fleet[0], 0, fleet[1], gossip, seed)).toList();
+        return IntStream.rangeClosed(1, SEEDS)
+                .parallel()
+                .mapToObj(seed -> Service.run(fleet[0], 0, fleet[1], gossip, seed))
+                .toList();
     }
 
     private static double mean(List<Service> all) {
--- a/src/test/java/elderseam/figures/StartFigures.java
+++ b/src/test/java/elderseam/figures/StartFigures.java
@@ -37,7 +37,8 @@
             System.err.println("usage: StartFigures [CORES,... MESSAGES,... ROUNDS [json]], such as 0.3,0.5,1 0,700 5");
             System.exit(2);
         }
-        String[] cores = (args.length > 0 ? args[0] : "0.3,0.5,1").split(","), messages = (args.length > 1 ? args[1] : "0,700").split(",");
+        String[] cores = (args.length > 0 ? args[0] : "0.3,0.5,1").split(","),
+                messages = (args.length > 1 ? args[1] : "0,700").split(",");
         int rounds = args.length > 2 ? Integer.parseInt(args[2]) : 5;
         boolean json = args.length > 3;
         if (!json) {
@@ -54,9 +55,19 @@
                 starts.sort(Comparator.comparingLong(Start::readyMs));
                 Start middle = starts.get(rounds / 2), worst = starts.get(rounds - 1);
                 long away = starts.stream().mapToLong(Start::awayMs).max().orElse(0);
-                System.out.printf(Locale.ROOT, json ? "{\"cores\":%s,\"messages\":%s,\"ready_ms\":%d,\"ready_worst_ms\":%d,"
-                        + "\"away_worst_ms\":%d,\"cpu_ms\":%d,\"peak_mb\":%d}%n" : "%5s %9s %13d %11d %16d %16d %8d%n", c, m,
-                        middle.readyMs, worst.readyMs, away, middle.cpuMs, middle.peakKb / 1024);
+                System.out.printf(
+                        Locale.ROOT,
+                        json
+                                ? "{\"cores\":%s,\"messages\":%s,\"ready_ms\":%d,\"ready_worst_ms\":%d,"
+                                        + "\"away_worst_ms\":%d,\"cpu_ms\":%d,\"peak_mb\":%d}%n"
+                                : "%5s %9s %13d %11d %16d %16d %8d%n",
+                        c,
+                        m,
+                        middle.readyMs,
+                        worst.readyMs,
+                        away,
+                        middle.cpuMs,
+                        middle.peakKb / 1024);
             }
         }
     }
@@ -64,7 +75,7 @@
     private static Start start(double cores, int messages) throws Exception {
         Path folder = Files.createTempDirectory("elderseam-start");
         try (ServerSocket platform = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-             ServerSocket host = new ServerSocket(0, 500, InetAddress.getLoopbackAddress())) {
+                ServerSocket host = new ServerSocket(0, 500, InetAddress.getLoopbackAddress())) {
             serve(platform, true);
             serve(host, false);
             left(folder.resolve("state"), messages);
@@ -81,12 +92,26 @@
 
     private static Start measured(Path folder, ServerSocket platform, double cores, int messages) throws Exception {
         List<String> command = Files.isExecutable(Path.of("/usr/bin/taskset"))
-                ? List.of("taskset", "-c", Integer.toString(Runtime.getRuntime().availableProcessors() - 1), "sh", "deploy/serve.sh")
+                ? List.of(
+                        "taskset",
+                        "-c",
+                        Integer.toString(Runtime.getRuntime().availableProcessors() - 1),
+                        "sh",
+                        "deploy/serve.sh")
                 : List.of("sh", "deploy/serve.sh");
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
-        b.environment().putAll(java.util.Map.of("RELAY_NAME", "n1", "RELAY_LISTEN", "127.0.0.1:0", "RELAY_DISCOVERY",
-                address(platform), "RELAY_STATE", folder.resolve("state").toString(), "RELAY_CONFIG",
-                folder.resolve("config.json").toString()));
+        b.environment()
+                .putAll(java.util.Map.of(
+                        "RELAY_NAME",
+                        "n1",
+                        "RELAY_LISTEN",
+                        "127.0.0.1:0",
+                        "RELAY_DISCOVERY",
+                        address(platform),
+                        "RELAY_STATE",
+                        folder.resolve("state").toString(),
+                        "RELAY_CONFIG",
+                        folder.resolve("config.json").toString()));
         Process signals = new ProcessBuilder("sh").start();
         long from = System.nanoTime();
         Process program = b.start();
@@ -97,7 +122,9 @@
             for (String line = log.readLine(); line != null; line = log.readLine()) {
                 if (line.startsWith("ready after")) {
                     ready = System.nanoTime() - from;
-                    program.onExit().completeOnTimeout(program, 1_500, TimeUnit.MILLISECONDS).thenRun(() -> stop(program, folder));
+                    program.onExit()
+                            .completeOnTimeout(program, 1_500, TimeUnit.MILLISECONDS)
+                            .thenRun(() -> stop(program, folder));
                 }
                 if (line.contains("away for ")) {
                     away = Math.max(away, Long.parseLong(line.replaceAll(".*away for (\\d+) ms.*", "$1")));
@@ -109,7 +136,8 @@
             signals.destroy();
         }
         List<String> used = Files.readAllLines(folder.resolve("used"));
-        return new Start(cores, messages, ready / Clock.MS, away, Long.parseLong(used.get(0)), Long.parseLong(used.get(1)));
+        return new Start(
+                cores, messages, ready / Clock.MS, away, Long.parseLong(used.get(0)), Long.parseLong(used.get(1)));
     }
 
     /** Notes what it used, and ends it. */
@@ -118,8 +146,13 @@
             String stat = Files.readString(Path.of("/proc/" + program.pid() + "/stat"));
             String[] field = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
             String peak = Files.readAllLines(Path.of("/proc/" + program.pid() + "/status")).stream()
-                    .filter(l -> l.startsWith("VmHWM")).findFirst().orElse("0").replaceAll("\\D", "");
-            Files.writeString(folder.resolve("used"), (Long.parseLong(field[11]) + Long.parseLong(field[12])) * 10 + "\n" + peak + "\n");
+                    .filter(l -> l.startsWith("VmHWM"))
+                    .findFirst()
+                    .orElse("0")
+                    .replaceAll("\\D", "");
+            Files.writeString(
+                    folder.resolve("used"),
+                    (Long.parseLong(field[11]) + Long.parseLong(field[12])) * 10 + "\n" + peak + "\n");
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         } finally {
@@ -147,8 +180,8 @@
         try (Journal journal = new Journal(state, 3_000_000, clock)) {
             for (int i = 0; i < messages; i++) {
                 long by = clock.now() + (i % 4 == 0 ? -500 + i : 15_000) * Clock.MS;
-                Stream.Message m = new Stream.Message("m" + i, (byte) 0, i % 2 * 2, 0, 1 + i % 8, by, by, false, true, "k" + i,
-                        new byte[300]);
+                Stream.Message m = new Stream.Message(
+                        "m" + i, (byte) 0, i % 2 * 2, 0, 1 + i % 8, by, by, false, true, "k" + i, new byte[300]);
                 journal.taken(m);
                 if (i % 4 == 1) {
                     journal.sent(m.id());
@@ -160,14 +193,22 @@
     private static String config(ServerSocket platform, ServerSocket host) throws IOException {
         StringBuilder servers = new StringBuilder();
         for (int i = 1; i <= 8; i++) {
-            servers.append(i == 1 ? "" : ",").append("{\"id\":\"s").append(i).append("\",\"addr\":\"").append(address(host))
-                    .append("\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":").append(i)
+            servers.append(i == 1 ? "" : ",")
+                    .append("{\"id\":\"s")
+                    .append(i)
+                    .append("\",\"addr\":\"")
+                    .append(address(host))
+                    .append("\",\"zone\":\"z\",\"kind\":\"bank\",\"cell\":")
+                    .append(i)
                     .append(",\"state\":\"SERVING\",\"weight\":50.0,\"started_ms\":0}");
         }
-        String settings = new String(StartFigures.class.getResourceAsStream("/settings.json").readAllBytes())
+        String settings = new String(
+                        StartFigures.class.getResourceAsStream("/settings.json").readAllBytes())
                 .replace("\"mostHeld\":64", "\"mostHeld\":800");
-        return "{\"name\":\"n1\",\"seed\":\"1\",\"discovery\":\"" + address(platform) + "\",\"limits\":{\"sockets\":384,"
-                + "\"memory_mb\":144,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":[" + servers + "]},\"settings\":"
+        return "{\"name\":\"n1\",\"seed\":\"1\",\"discovery\":\"" + address(platform)
+                + "\",\"limits\":{\"sockets\":384,"
+                + "\"memory_mb\":144,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":[" + servers
+                + "]},\"settings\":"
                 + settings + "}";
     }
 
@@ -194,17 +235,24 @@
     }
 
     private static void answer(Socket s, boolean platform) {
-        try (s; InputStream in = s.getInputStream()) {
+        try (s;
+                InputStream in = s.getInputStream()) {
             StringBuilder head = new StringBuilder();
             for (int c = in.read(); c >= 0; c = in.read()) {
                 head.append((char) c);
                 if (head.length() > 4 && head.substring(head.length() - 4).equals("\r\n\r\n")) {
                     String told = head.toString();
-                    int length = told.contains("Content-Length: ") ? Integer.parseInt(told.replaceAll("(?s).*Content-Length: (\\d+).*", "$1")) : 0;
+                    int length = told.contains("Content-Length: ")
+                            ? Integer.parseInt(told.replaceAll("(?s).*Content-Length: (\\d+).*", "$1"))
+                            : 0;
                     in.readNBytes(length);
                     head.setLength(0);
                     if (!told.startsWith("GET")) {
-                        s.getOutputStream().write((platform ? "HTTP/1.1 204 x\r\n\r\n" : "HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n").getBytes());
+                        s.getOutputStream()
+                                .write((platform
+                                                ? "HTTP/1.1 204 x\r\n\r\n"
+                                                : "HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n")
+                                        .getBytes());
                     }
                 }
             }
--- a/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -16,9 +16,20 @@
 class VersionFolderCompatTest {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RESOURCE = "version/folder";
-    private static final Version FIRST = Version.of(1, 0, "n1", "the first", Map.of("settings.ini", "[discovery]\nrest = ä:7\n")).effective(1_230);
-    private static final Version SECOND = Version.of(2, 1, "n2", "rules", Map.of("settings.ini", "[rules]\nfiles = r.rules /etc/own.rules\n",
-            "r.rules", "[table t]\nmatch = first\n")).effective(4_560);
+    private static final Version FIRST = Version.of(
+                    1, 0, "n1", "the first", Map.of("settings.ini", "[discovery]\nrest = ä:7\n"))
+            .effective(1_230);
+    private static final Version SECOND = Version.of(
+                    2,
+                    1,
+                    "n2",
+                    "rules",
+                    Map.of(
+                            "settings.ini",
+                            "[rules]\nfiles = r.rules /etc/own.rules\n",
+                            "r.rules",
+                            "[table t]\nmatch = first\n"))
+            .effective(4_560);
 
     @TempDir
     Path folder;
@@ -51,7 +62,7 @@
         Map<String, byte[]> recorded = RecordedBytes.files(recorded()), written = RecordedBytes.files(write(folder));
         assertEquals(recorded.keySet(), written.keySet());
         for (Map.Entry<String, byte[]> file : recorded.entrySet()) {
-            if (file.getKey().equals("2.json")) {   // texts of several names are written in no fixed order
+            if (file.getKey().equals("2.json")) { // texts of several names are written in no fixed order
                 assertEquals(JSON.readTree(file.getValue()), JSON.readTree(written.get(file.getKey())));
             } else {
                 assertArrayEquals(file.getValue(), written.get(file.getKey()), file.getKey());
@@ -63,8 +74,11 @@
     void aProposalIsRead() throws IOException {
         Path file = RecordedBytes.path("version/proposal/proposal.ini");
         if (RecordedBytes.missing("version/proposal")) {
-            RecordedBytes.bytes("version/proposal/proposal.ini", SECOND.texts().get(VersionContent.SETTINGS).getBytes("UTF-8"));
-            RecordedBytes.bytes("version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes("UTF-8"));
+            RecordedBytes.bytes(
+                    "version/proposal/proposal.ini",
+                    SECOND.texts().get(VersionContent.SETTINGS).getBytes("UTF-8"));
+            RecordedBytes.bytes(
+                    "version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes("UTF-8"));
         }
         assertEquals(SECOND.texts(), VersionContent.read(file));
         assertEquals(SECOND.hash(), Version.hash(VersionContent.read(file)));
--- a/src/test/java/elderseam/fleet/config/VersionTableTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionTableTest.java
@@ -23,7 +23,9 @@
     private final VersionTable table = new VersionTable();
 
     private String propose(String member, long parent, Map<String, String> texts, long at) {
-        return table.apply(Command.propose(member, parent, "why", texts, 3, T, T).stamped(at)).word();
+        return table.apply(
+                        Command.propose(member, parent, "why", texts, 3, T, T).stamped(at))
+                .word();
     }
 
     private void checked(String member, long number, String fault, long at) {
@@ -127,9 +129,14 @@
     @Test
     void aVersionHoldsWhatAFleetAgreesOnAndNothingElse(@TempDir Path folder) throws Exception {
         Files.writeString(folder.resolve("r.rules"), "[table t]\nmatch = first\n");
-        Path file = Files.writeString(folder.resolve("v.ini"), "[rules]\nfiles = r.rules /etc/own.rules\n[fleet]\nname = x\n");
+        Path file = Files.writeString(
+                folder.resolve("v.ini"), "[rules]\nfiles = r.rules /etc/own.rules\n[fleet]\nname = x\n");
         SettingsFault e = Assertions.assertThrows(SettingsFault.class, () -> VersionContent.read(file));
-        assertTrue(e.getMessage().contains("v.ini:3: '[fleet]' is each member's own, allowed in a version: [rules], [discovery]"), e.getMessage());
+        assertTrue(
+                e.getMessage()
+                        .contains(
+                                "v.ini:3: '[fleet]' is each member's own, allowed in a version: [rules], [discovery]"),
+                e.getMessage());
         Files.writeString(file, "[rules]\nfiles = r.rules /etc/own.rules\n");
         Map<String, String> texts = VersionContent.read(file);
         assertEquals(2, texts.size(), "its settings and the one file without a folder");
@@ -137,7 +144,13 @@
         Version v = Version.of(1, 0, "a", "why", texts);
         Path own = Files.writeString(folder.resolve("own.ini"), "[events]\nlisten = off\n[rules]\nzone = UTC\n");
         List<String> merged = Files.readAllLines(VersionContent.merged(own, kept.texts(v)));
-        assertEquals(List.of("[events]", "listen = off", "[rules]", "files = " + kept.texts(v).resolve("r.rules") + " /etc/own.rules"), merged);
+        assertEquals(
+                List.of(
+                        "[events]",
+                        "listen = off",
+                        "[rules]",
+                        "files = " + kept.texts(v).resolve("r.rules") + " /etc/own.rules"),
+                merged);
         assertEquals(Version.NONE, kept.acting());
         kept.acting(v);
         assertEquals(v, new VersionFolder(folder.resolve("kept")).acting());
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -27,12 +27,21 @@
         }
     }
 
-    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() { };
+    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() {};
 
     private LeaseGroup start(String name, Map<String, InetSocketAddress> peers, long snapshotEvery) throws IOException {
         Map<String, InetSocketAddress> founding = new LinkedHashMap<>(peers);
-        founding.remove("d");   // that one joins
-        return LeaseGroup.start(new LeaseGroup.Opening("test", name, peers.get(name), founding, folder.resolve(name), 150, "1", System::nanoTime, DEAF,
+        founding.remove("d"); // that one joins
+        return LeaseGroup.start(new LeaseGroup.Opening(
+                "test",
+                name,
+                peers.get(name),
+                founding,
+                folder.resolve(name),
+                150,
+                "1",
+                System::nanoTime,
+                DEAF,
                 snapshotEvery));
     }
 
@@ -67,7 +76,7 @@
             wanted.remove("a");
             members.get("b").members(wanted).get(30, TimeUnit.SECONDS);
             members.remove("a").close();
-            members.remove("b").close();   // c and d are a majority, so d has the table
+            members.remove("b").close(); // c and d are a majority, so d has the table
             assertEquals(61, acquire(members.get("d")).token());
             members.get("d").release("discovery-fetch", 61).get(20, TimeUnit.SECONDS);
             for (String name : new String[] {"c", "d"}) {
@@ -111,7 +120,7 @@
             LeaseTable.Outcome a = acquire(members.get("a"));
             assertTrue(a.granted());
             LeaseTable.Outcome b = acquire(members.get("b"));
-            if (b.granted()) {   // only a machine stalled for the whole term may see that, and then a's term was over
+            if (b.granted()) { // only a machine stalled for the whole term may see that, and then a's term was over
                 assertTrue(b.untilMs() - 3000 >= a.untilMs(), "b granted inside a's term");
             } else {
                 assertEquals("a/1", b.holder());
@@ -122,7 +131,7 @@
                 next = acquire(members.get("b"));
                 if (!next.granted()) {
                     assertTrue(next.againMs() > 0, "a refusal says when to come back");
-                    Thread.sleep(next.againMs());   // the group's own word of when to ask again, not a guess
+                    Thread.sleep(next.againMs()); // the group's own word of when to ask again, not a guess
                 }
             } while (!next.granted());
             assertTrue(next.token() > a.token());
--- a/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
@@ -21,7 +21,8 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String FIRST = "n1/kx2-17", SECOND = "n2/kx3-18", CERTIFICATE = "certificate:example.org";
     private static final Map<String, String> ONE_TEXT = Map.of("settings.ini", "[rules]\nzone = UTC\n");
-    private static final Map<String, String> TWO_TEXTS = Map.of("settings.ini", "[rules]\nfiles = r.rules\n", "r.rules", "[table t]\nmatch = first\n");
+    private static final Map<String, String> TWO_TEXTS =
+            Map.of("settings.ini", "[rules]\nfiles = r.rules\n", "r.rules", "[table t]\nmatch = first\n");
 
     private static final List<Command> LEASES = List.of(
             new Command(Op.ACQUIRE, "discovery", FIRST, 0, 3_000, 10),
@@ -32,22 +33,25 @@
             new Command(Op.PUBLISH, CERTIFICATE, SECOND, 1, 0, 1_510, "sealed"),
             new Command(Op.RELEASE, "discovery", FIRST, 1, 0, 2_000),
             new Command(Op.RENEW, "discovery", FIRST, 1, 3_000, 2_010),
-            new Command(Op.ACQUIRE, "trial:7", FIRST, 0, 3_000, 0));   // as a member asks: the leader has not stamped it yet
+            new Command(
+                    Op.ACQUIRE, "trial:7", FIRST, 0, 3_000, 0)); // as a member asks: the leader has not stamped it yet
 
     private static final List<VersionTable.Command> VERSIONS = List.of(
             VersionTable.Command.confirm("n1").stamped(100),
             VersionTable.Command.confirm("n2").stamped(110),
-            VersionTable.Command.propose("n1", 0, "first", ONE_TEXT, 3, 1_000, 1_000).stamped(200),
+            VersionTable.Command.propose("n1", 0, "first", ONE_TEXT, 3, 1_000, 1_000)
+                    .stamped(200),
             VersionTable.Command.checked("n1", 1, "").stamped(210),
             VersionTable.Command.checked("n2", 1, "").stamped(220),
             VersionTable.Command.checked("n3", 1, "").stamped(230),
-            VersionTable.Command.propose("n2", 1, "second", ONE_TEXT, 3, 1_000, 2_000).stamped(1_300),
+            VersionTable.Command.propose("n2", 1, "second", ONE_TEXT, 3, 1_000, 2_000)
+                    .stamped(1_300),
             VersionTable.Command.checked("n1", 2, "").stamped(1_310),
             VersionTable.Command.propose("n3", 1, "third", TWO_TEXTS, 3, 1_000, 1_000),
             VersionTable.Command.checked("n3", 3, "no such file"));
 
-    private static final List<VersionTable.Outcome> VERSION_OUTCOMES = List.of(new VersionTable.Outcome("", 1, 230),
-            new VersionTable.Outcome("made from version 0", 1, 240));
+    private static final List<VersionTable.Outcome> VERSION_OUTCOMES =
+            List.of(new VersionTable.Outcome("", 1, 230), new VersionTable.Outcome("made from version 0", 1, 240));
 
     private static LeaseTable leases(int commands) {
         LeaseTable table = new LeaseTable();
@@ -95,14 +99,17 @@
 
     @Test
     void versionCommands() throws IOException {
-        List<String> written = lines(VERSIONS.stream().map(LeaseCodec::encodeVersions).toList());
+        List<String> written =
+                lines(VERSIONS.stream().map(LeaseCodec::encodeVersions).toList());
         List<String> recorded = RecordedBytes.lines("version/commands", written);
         for (int i = 0; i < VERSIONS.size(); i++) {
             VersionTable.Command command = VERSIONS.get(i);
             assertEquals(command, LeaseCodec.versions(bytes(recorded.get(i))));
             assertEquals('V', recorded.get(i).charAt(0));
-            if (command.texts().size() > 1) {   // in no fixed order
-                assertEquals(JSON.readTree(recorded.get(i).substring(1)), JSON.readTree(written.get(i).substring(1)));
+            if (command.texts().size() > 1) { // in no fixed order
+                assertEquals(
+                        JSON.readTree(recorded.get(i).substring(1)),
+                        JSON.readTree(written.get(i).substring(1)));
             } else {
                 assertEquals(recorded.get(i), written.get(i));
             }
@@ -111,7 +118,8 @@
 
     @Test
     void versionOutcomes() throws IOException {
-        List<String> written = lines(VERSION_OUTCOMES.stream().map(LeaseCodec::encode).toList());
+        List<String> written =
+                lines(VERSION_OUTCOMES.stream().map(LeaseCodec::encode).toList());
         List<String> recorded = RecordedBytes.lines("version/outcomes", written);
         assertEquals(recorded, written);
         for (int i = 0; i < VERSION_OUTCOMES.size(); i++) {
@@ -122,7 +130,8 @@
     /** One lease, one token, one published value and texts of one name: these have one order, so the bytes are the same. */
     @Test
     void aSmallSnapshot() throws IOException {
-        LeaseCodec.Images images = new LeaseCodec.Images(leases(4).image(), versions(8).image());
+        LeaseCodec.Images images =
+                new LeaseCodec.Images(leases(4).image(), versions(8).image());
         byte[] recorded = RecordedBytes.bytes("lease/snapshot", LeaseCodec.encode(images));
         assertArrayEquals(recorded, LeaseCodec.encode(images));
         assertEquals(images, LeaseCodec.images(recorded));
@@ -150,7 +159,8 @@
     @Test
     void aSnapshotWithoutVersions() throws IOException {
         LeaseTable.Image image = leases(4).image();
-        byte[] recorded = RecordedBytes.bytes("lease/snapshot-without-versions", LeaseCodec.encode(image).toByteArray());
+        byte[] recorded = RecordedBytes.bytes(
+                "lease/snapshot-without-versions", LeaseCodec.encode(image).toByteArray());
         LeaseCodec.Images read = LeaseCodec.images(recorded);
         assertEquals(image, read.leases());
         assertNull(read.versions());
--- a/src/test/java/elderseam/fleet/lease/LeaseTableTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseTableTest.java
@@ -68,8 +68,12 @@
     @Test
     void everyScheduleOfTheModelIsSafeWithTheMarginsAndTheUnsafeRuleIsFound() {
         assertEquals(Optional.empty(), TenureModel.explore(1000, 0.05, 0, new Tenure.Bounds(0.05)));
-        assertTrue(TenureModel.explore(1000, 0.05, 0, new Tenure.Bounds(0)).isPresent(), "no margin: a slow clock acts late");
-        assertTrue(TenureModel.explore(1000, 0.05, 120, new Tenure.Bounds(0.05)).isPresent(), "stamps by wall clocks that stand apart");
+        assertTrue(
+                TenureModel.explore(1000, 0.05, 0, new Tenure.Bounds(0)).isPresent(),
+                "no margin: a slow clock acts late");
+        assertTrue(
+                TenureModel.explore(1000, 0.05, 120, new Tenure.Bounds(0.05)).isPresent(),
+                "stamps by wall clocks that stand apart");
     }
 
     /** A new leader counts on from where the table stood, whatever its own clock shows, and so does one that leads again. */
@@ -97,7 +101,9 @@
         assertEquals(LeaseKeeper.Ask.ACQUIRE, keeper.next(950_000_000).ask(), "its term is over by its own clock");
         keeper.answered(950_000_000, 960_000_000, LeaseTable.Outcome.refused(new LeaseTable.Lease("b", 2, 3000), 1000));
         assertFalse(keeper.holds(960_000_000));
-        assertTrue(keeper.next(970_000_000).atNs() >= 1_960_000_000, "no sooner than a term on, as it was told to wait longer");
+        assertTrue(
+                keeper.next(970_000_000).atNs() >= 1_960_000_000,
+                "no sooner than a term on, as it was told to wait longer");
     }
 
     @Test
@@ -105,7 +111,11 @@
         LeaseTable.Outcome a = at(0, Op.ACQUIRE, "a", 0);
         LeaseTable other = new LeaseTable();
         other.restore(table.image());
-        assertFalse(other.apply(new Command(Op.ACQUIRE, "probe:bank-7", "b", 0, 1000, 10)).granted());
-        assertEquals(a.token() + 1, other.apply(new Command(Op.ACQUIRE, "probe:bank-7", "b", 0, 1000, 1000)).token());
+        assertFalse(other.apply(new Command(Op.ACQUIRE, "probe:bank-7", "b", 0, 1000, 10))
+                .granted());
+        assertEquals(
+                a.token() + 1,
+                other.apply(new Command(Op.ACQUIRE, "probe:bank-7", "b", 0, 1000, 1000))
+                        .token());
     }
 }
--- a/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -28,6 +28,7 @@
 
     @TempDir
     Path folder;
+
     private final BlockingQueue<String> published = new LinkedBlockingQueue<>();
 
     private LeaseGroup start(Path at, String life) throws IOException {
@@ -41,7 +42,8 @@
                 published.add(lease + "=" + value);
             }
         };
-        return LeaseGroup.start(new LeaseGroup.Opening("compat", "a", address, Map.of("a", address), at, 150, life, () -> 0, watch, SNAPSHOT_EVERY));
+        return LeaseGroup.start(new LeaseGroup.Opening(
+                "compat", "a", address, Map.of("a", address), at, 150, life, () -> 0, watch, SNAPSHOT_EVERY));
     }
 
     @Test
@@ -57,7 +59,9 @@
             Version latest = member.versions().latest();
             assertEquals(new Version(1, 0, "a", "why", TEXTS, Version.hash(TEXTS), 1_000), latest);
             assertEquals(List.of(latest), member.versions().all());
-            assertEquals(new VersionTable.Ended(1, latest.hash(), ""), member.versions().ended());
+            assertEquals(
+                    new VersionTable.Ended(1, latest.hash(), ""),
+                    member.versions().ended());
             assertEquals(List.of("a"), member.members());
             assertEquals("a/2", member.holder());
         } finally {
@@ -70,23 +74,31 @@
             long token = acquire(member, "discovery");
             member.publish("discovery", token, "in the snapshot").get(WAIT_S, TimeUnit.SECONDS);
             member.versions(VersionTable.Command.confirm("a")).get(WAIT_S, TimeUnit.SECONDS);
-            member.versions(VersionTable.Command.propose("a", 0, "why", TEXTS, 1, 1_000, 1_000)).get(WAIT_S, TimeUnit.SECONDS);
+            member.versions(VersionTable.Command.propose("a", 0, "why", TEXTS, 1, 1_000, 1_000))
+                    .get(WAIT_S, TimeUnit.SECONDS);
             member.versions(VersionTable.Command.checked("a", 1, "")).get(WAIT_S, TimeUnit.SECONDS);
             while (RecordedBytes.files(at).keySet().stream().noneMatch(f -> f.matches(".*snapshot\\.\\d+_\\d+"))) {
                 acquire(member, "discovery");
             }
             token = acquire(member, "certificate:localhost");
             member.publish("certificate:localhost", token, "in the log").get(WAIT_S, TimeUnit.SECONDS);
-            RecordedBytes.copy(at, RecordedBytes.path(RESOURCE));   // as a crash leaves it: the engine takes a snapshot when it stops
+            RecordedBytes.copy(
+                    at,
+                    RecordedBytes.path(RESOURCE)); // as a crash leaves it: the engine takes a snapshot when it stops
         }
-        Path group = RecordedBytes.path(RESOURCE).resolve(LeaseGroup.group("compat", Map.of()).getGroupId().getUuid().toString());
+        Path group = RecordedBytes.path(RESOURCE)
+                .resolve(LeaseGroup.group("compat", Map.of())
+                        .getGroupId()
+                        .getUuid()
+                        .toString());
         Files.deleteIfExists(group.resolve("in_use.lock"));
     }
 
     private static long acquire(LeaseGroup member, String lease) throws Exception {
         for (int i = 0; ; i++) {
             try {
-                LeaseTable.Outcome outcome = member.acquire(lease, LeaseTable.MOST_TTL_MS).get(WAIT_S, TimeUnit.SECONDS);
+                LeaseTable.Outcome outcome =
+                        member.acquire(lease, LeaseTable.MOST_TTL_MS).get(WAIT_S, TimeUnit.SECONDS);
                 assertTrue(outcome.granted());
                 return outcome.token();
             } catch (ExecutionException noLeaderYet) {
--- a/src/test/java/elderseam/fleet/rig/CheckersTest.java
+++ b/src/test/java/elderseam/fleet/rig/CheckersTest.java
@@ -18,7 +18,8 @@
     private final List<JsonNode> lines = new ArrayList<>();
 
     private CheckersTest at(long ms, String fields) throws Exception {
-        lines.add(new ObjectMapper().readTree(("{'at_ns':" + ms * 1_000_000 + ",'lease':'l'," + fields + "}").replace('\'', '"')));
+        lines.add(new ObjectMapper()
+                .readTree(("{'at_ns':" + ms * 1_000_000 + ",'lease':'l'," + fields + "}").replace('\'', '"')));
         return this;
     }
 
@@ -40,24 +41,33 @@
 
     @Test
     void aHolderThatWasKilledOrRefusedBelievesNoLonger() throws Exception {
-        at(0, granted("a/1", 1, 900)).at(100, "'type':'killed','member':'a'").at(200, granted("b/1", 2, 1000))
-                .at(300, "'type':'refused','holder':'b/1'").at(400, granted("c/1", 3, 1300));
+        at(0, granted("a/1", 1, 900))
+                .at(100, "'type':'killed','member':'a'")
+                .at(200, granted("b/1", 2, 1000))
+                .at(300, "'type':'refused','holder':'b/1'")
+                .at(400, granted("c/1", 3, 1300));
         assertEquals(List.of(), new Checkers(lines).leaseSafety());
     }
 
     /** What ends one lease ends no other of the same holder. */
     @Test
     void aReleaseEndsItsOwnLeaseAlone() throws Exception {
-        at(0, granted("a/1", 1, 900)).at(100, "'type':'released','holder':'a/1'").at(200, granted("b/1", 2, 1000));
+        at(0, granted("a/1", 1, 900))
+                .at(100, "'type':'released','holder':'a/1'")
+                .at(200, granted("b/1", 2, 1000));
         assertEquals(List.of(), new Checkers(lines).leaseSafety());
-        lines.add(new ObjectMapper().readTree("{\"at_ns\":300000000,\"lease\":\"m\",\"type\":\"refused\",\"holder\":\"b/1\"}"));
+        lines.add(new ObjectMapper()
+                .readTree("{\"at_ns\":300000000,\"lease\":\"m\",\"type\":\"refused\",\"holder\":\"b/1\"}"));
         at(400, granted("c/1", 3, 1300));
         assertEquals(1, new Checkers(lines).leaseSafety().size());
     }
 
     @Test
     void aTokenOfTwoHoldersIsFoundByBothCheckers() throws Exception {
-        at(0, granted("a/1", 1, 900)).at(1000, granted("b/1", 1, 1900)).at(10, effect("a/1", 1, true)).at(1010, effect("b/1", 1, true));
+        at(0, granted("a/1", 1, 900))
+                .at(1000, granted("b/1", 1, 1900))
+                .at(10, effect("a/1", 1, true))
+                .at(1010, effect("b/1", 1, true));
         assertTrue(new Checkers(lines).leaseSafety().toString().contains("granted to a/1 and to b/1"));
         assertEquals(1, new Checkers(lines).fencing().size());
     }
@@ -72,23 +82,33 @@
 
     @Test
     void aHealWithoutAnActInTimeIsFound() throws Exception {
-        at(0, "'type':'healed'").at(900, effect("a/1", 1, true)).at(1000, "'type':'healed'").at(1100, effect("a/1", 1, false)).at(5000, "'type':'end'");
-        assertEquals(List.of("liveness: no act after a heal, at most 1000 ms allowed"), new Checkers(lines).liveness(1000));
+        at(0, "'type':'healed'")
+                .at(900, effect("a/1", 1, true))
+                .at(1000, "'type':'healed'")
+                .at(1100, effect("a/1", 1, false))
+                .at(5000, "'type':'end'");
+        assertEquals(
+                List.of("liveness: no act after a heal, at most 1000 ms allowed"), new Checkers(lines).liveness(1000));
         assertEquals(List.of(), new Checkers(lines).liveness(4000));
     }
 
     @Test
     void oneSeedGivesOneSchedule(@TempDir Path folder) throws Exception {
-        FleetRun.Terms seven = new FleetRun.Terms("leases", 50, 7, null, folder), eight = new FleetRun.Terms("leases", 50, 8, null, folder);
+        FleetRun.Terms seven = new FleetRun.Terms("leases", 50, 7, null, folder),
+                eight = new FleetRun.Terms("leases", 50, 8, null, folder);
         assertEquals(FleetRun.schedule(seven), FleetRun.schedule(seven));
         assertTrue(!FleetRun.schedule(seven).equals(FleetRun.schedule(eight)));
     }
 
     @Test
     void everyFaultOfAScenarioIsTold(@TempDir Path folder) throws Exception {
-        Path file = Files.writeString(folder.resolve("s"), "[fleet x]\nmembers = 99\n[fault a]\nat_ms = 5\ndo = stall holder\n[fault b]\ndo = explode\nwhen = 7\n");
+        Path file = Files.writeString(
+                folder.resolve("s"),
+                "[fleet x]\nmembers = 99\n[fault a]\nat_ms = 5\ndo = stall holder\n[fault b]\ndo = explode\nwhen = 7\n");
         SettingsFault e = org.junit.jupiter.api.Assertions.assertThrows(SettingsFault.class, () -> Plan.read(file));
         assertEquals(5, e.faults().size(), e.faults()::toString);
-        assertTrue(e.faults().get(0).contains(":2:11: fleet.x.members: '99' can't be used, allowed: 2 to 16"), e.faults()::toString);
+        assertTrue(
+                e.faults().get(0).contains(":2:11: fleet.x.members: '99' can't be used, allowed: 2 to 16"),
+                e.faults()::toString);
     }
 }
--- a/src/test/java/elderseam/fleet/rig/GossipLeaseTest.java
+++ b/src/test/java/elderseam/fleet/rig/GossipLeaseTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Why leases stand on a replicated log: decided by gossip alone, two processes hold one at once as soon as a link is cut. */
-@ResourceLock("rig two")   // each class starts some processes: two classes at a time
+@ResourceLock("rig two") // each class starts some processes: two classes at a time
 class GossipLeaseTest {
     @TempDir
     Path folder;
@@ -29,7 +29,9 @@
         FleetRun.Terms terms = new FleetRun.Terms("leases", 1, 1, "gossip", folder);
         FleetRun.Result r = FleetRun.run(terms, System.out::println);
         assertEquals(1, r.violations().size(), r.violations()::toString);
-        assertTrue(r.violations().get(0).matches("lease safety: n2/.* held gossip .* before n1/.* had stopped"), r.violations()::toString);
+        assertTrue(
+                r.violations().get(0).matches("lease safety: n2/.* held gossip .* before n1/.* had stopped"),
+                r.violations()::toString);
     }
 
     @Test
@@ -48,10 +50,16 @@
         try (DatagramSocket free = new DatagramSocket(0, here)) {
             port = free.getLocalPort();
         }
-        try (DatagramSocket a = new DatagramSocket(0, here); DatagramSocket b = new DatagramSocket(0, here)) {
+        try (DatagramSocket a = new DatagramSocket(0, here);
+                DatagramSocket b = new DatagramSocket(0, here)) {
             a.setSoTimeout(200);
             b.setSoTimeout(5_000);
-            try (DatagramProxy proxy = new DatagramProxy(network, "b", port, (InetSocketAddress) b.getLocalSocketAddress(), Map.of(a.getLocalSocketAddress(), "a"))) {
+            try (DatagramProxy proxy = new DatagramProxy(
+                    network,
+                    "b",
+                    port,
+                    (InetSocketAddress) b.getLocalSocketAddress(),
+                    Map.of(a.getLocalSocketAddress(), "a"))) {
                 InetSocketAddress there = proxy.address();
                 network.cut("a", "b");
                 send(a, "lost", there);
@@ -62,7 +70,10 @@
                 send(a, "kept", there);
                 DatagramPacket p = new DatagramPacket(new byte[16], 16);
                 b.receive(p);
-                assertEquals("kept", new String(p.getData(), 0, p.getLength(), StandardCharsets.US_ASCII), "what was sent over a cut link does not come later");
+                assertEquals(
+                        "kept",
+                        new String(p.getData(), 0, p.getLength(), StandardCharsets.US_ASCII),
+                        "what was sent over a cut link does not come later");
                 network.cut("b", "a");
                 send(b, "no", (InetSocketAddress) p.getSocketAddress());
                 assertThrows(SocketTimeoutException.class, () -> a.receive(new DatagramPacket(new byte[16], 16)));
--- a/src/test/java/elderseam/fleet/rig/HardCasesTest.java
+++ b/src/test/java/elderseam/fleet/rig/HardCasesTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** The hard cases of a lease, each on three real processes of the program with a fault proxy between them. */
-@ResourceLock("rig one")   // each class starts some processes: two classes at a time
+@ResourceLock("rig one") // each class starts some processes: two classes at a time
 class HardCasesTest {
     @TempDir
     Path folder;
@@ -25,7 +25,8 @@
     }
 
     private FleetRun.Result play(int rounds, long roundMs, String... faults) throws Exception {
-        FleetRun.Result r = FleetRun.run(plan(roundMs, faults), new FleetRun.Terms("leases", rounds, 1, null, folder), System.out::println);
+        FleetRun.Result r = FleetRun.run(
+                plan(roundMs, faults), new FleetRun.Terms("leases", rounds, 1, null, folder), System.out::println);
         assertEquals(List.of(), r.violations());
         return r;
     }
@@ -81,13 +82,16 @@
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L));
             c.befall(Fault.parse(0, "crash n2"));
             c.befall(Fault.parse(0, "crash n3"));
-            Cluster.pause(1_500);   // the longest that a lease which is held can last, and more
+            Cluster.pause(1_500); // the longest that a lease which is held can last, and more
             long granted = Checkers.read(c.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
-                assertEquals(202, c.outside().send(c.member("n1").ready(), 1).get(10, java.util.concurrent.TimeUnit.SECONDS));
+                assertEquals(
+                        202,
+                        c.outside().send(c.member("n1").ready(), 1).get(10, java.util.concurrent.TimeUnit.SECONDS));
             }
-            assertEquals(granted, Checkers.read(c.histories()).count("granted"), "nothing was granted without a majority");
+            assertEquals(
+                    granted, Checkers.read(c.histories()).count("granted"), "nothing was granted without a majority");
             assertTrue(c.member("n1").told("FLEET").contains("=not held"));
             assertTrue(c.outside().delivered() > 0);
             c.heal(true);
--- a/src/test/java/elderseam/fleet/rig/NemesisTest.java
+++ b/src/test/java/elderseam/fleet/rig/NemesisTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Random faults against real processes; the long run is {@code elderseam fleet test --rounds 1000}. */
-@ResourceLock("rig two")   // each class starts some processes: two classes at a time
+@ResourceLock("rig two") // each class starts some processes: two classes at a time
 class NemesisTest {
     @TempDir
     Path folder;
@@ -28,6 +28,7 @@
         FleetRun.Terms terms = new FleetRun.Terms("leases", 5, 1, "no-fence", folder);
         List<Fault> stall = List.of(Fault.parse(300, "stall holder 6000"));
         Plan plan = new Plan(3, 1_200, 5, 150, 6_500, java.util.Map.of(), stall);
-        assertTrue(FleetRun.run(plan, terms, System.out::println).violations().stream().anyMatch(v -> v.startsWith("fencing: ")));
+        assertTrue(FleetRun.run(plan, terms, System.out::println).violations().stream()
+                .anyMatch(v -> v.startsWith("fencing: ")));
     }
 }
--- a/src/test/java/elderseam/fleet/rig/OneOrderTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneOrderTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member orders the certificate for all, on three real processes and the stand-in authority, which asks one of them alone. */
-@ResourceLock("rig two")   // each class starts some processes: two classes at a time
+@ResourceLock("rig two") // each class starts some processes: two classes at a time
 class OneOrderTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
@@ -38,9 +38,16 @@
     }
 
     private Cluster.Setup setup(Authority authority, int port, Path key) {
-        return new Cluster.Setup(true, name -> "certificates = one\ncertificate_key = " + key + "\n[events]\nlisten = 127.0.0.1:0\n[acme]\ndirectory = "
-                + authority.directory() + "\nnames = localhost\nfolder = " + folder.resolve(name + "-certificate") + "\nchallenges = 127.0.0.1:"
-                + (name.equals("n1") ? port : 0) + "\n", false, true, "");
+        return new Cluster.Setup(
+                true,
+                name -> "certificates = one\ncertificate_key = " + key
+                        + "\n[events]\nlisten = 127.0.0.1:0\n[acme]\ndirectory = "
+                        + authority.directory() + "\nnames = localhost\nfolder = "
+                        + folder.resolve(name + "-certificate") + "\nchallenges = 127.0.0.1:"
+                        + (name.equals("n1") ? port : 0) + "\n",
+                false,
+                true,
+                "");
     }
 
     private static String holder(Cluster c) throws IOException {
@@ -49,7 +56,7 @@
                 return name;
             }
         }
-        return "n1";   // just now nobody does: then nothing of who holds it is shown
+        return "n1"; // just now nobody does: then nothing of who holds it is shown
     }
 
     private Set<String> chains(List<String> group) throws IOException {
@@ -63,11 +70,12 @@
 
     /** Waits until all serve one chain that is another than {@code before}. */
     private String one(Cluster c, String before, long byNs) throws Exception {
-        List<String> living = c.group().stream().filter(g -> c.member(g).alive()).toList();
+        List<String> living =
+                c.group().stream().filter(g -> c.member(g).alive()).toList();
         Set<String> now = chains(living);
         while (now.size() != 1 || now.contains("") || now.contains(before)) {
             assertTrue(System.nanoTime() < byNs, "no one chain on all: " + now.size());
-            Cluster.pause(50);   // files tell nobody of a change
+            Cluster.pause(50); // files tell nobody of a change
             now = chains(living);
         }
         return now.iterator().next();
@@ -76,14 +84,18 @@
     @Test
     void oneOrdersRenewsAndAnotherAfterIt() throws Exception {
         int port = AcmeTest.freePort();
-        Authority authority = new Authority(new Io(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port, Duration.ofSeconds(210),
-                Duration.ofSeconds(120));   // renewed from 10 s on, and by everybody for itself only 55 s later
+        Authority authority = new Authority(
+                new Io(new Clock()),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                port,
+                Duration.ofSeconds(210),
+                Duration.ofSeconds(120)); // renewed from 10 s on, and by everybody for itself only 55 s later
         Path key = folder.resolve("seal");
         Seal.make(key, new SecureRandom());
         try (Cluster c = new Cluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
             String first = one(c, "", by(60));
             assertEquals(1, authority.ordered(), "one order for three members");
-            if (holder(c).equals("n1")) {   // the renewal is another's, while the authority goes on asking n1
+            if (holder(c).equals("n1")) { // the renewal is another's, while the authority goes on asking n1
                 c.befall(Fault.parse(0, "end n1"));
                 c.heal(true);
             }
@@ -104,8 +116,14 @@
         OrderDuty duty = new OrderDuty(1_000);
         assertTrue(duty.own(0, 10_000, true, false));
         assertTrue(!duty.own(100, 10_000, false, true), "another orders");
-        assertTrue(!duty.own(5_000, 10_000, false, false) && !duty.own(5_999, 10_000, false, false) && duty.own(6_000, 10_000, false, false), "nobody known for 1 s");
-        assertTrue(!duty.own(6_100, 10_000, false, true) && duty.own(10_000, 10_000, false, true), "the last instant waits for nobody");
+        assertTrue(
+                !duty.own(5_000, 10_000, false, false)
+                        && !duty.own(5_999, 10_000, false, false)
+                        && duty.own(6_000, 10_000, false, false),
+                "nobody known for 1 s");
+        assertTrue(
+                !duty.own(6_100, 10_000, false, true) && duty.own(10_000, 10_000, false, true),
+                "the last instant waits for nobody");
     }
 
     @Test
--- a/src/test/java/elderseam/fleet/rig/OneTrialTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneTrialTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member tries a failing destination for all: the decision, and three real processes with it off and on. */
-@ResourceLock("rig one")   // each class starts some processes: two classes at a time
+@ResourceLock("rig one") // each class starts some processes: two classes at a time
 class OneTrialTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
@@ -28,12 +28,17 @@
     void theOthersLeaveTheTrialToTheHolderUntilItSaysThatItIsBack() {
         TrialDuty duty = new TrialDuty(2_000, 10_000);
         assertEquals(new Turn(false, false, false), duty.look(0, Standing.CLOSED, false, false));
-        assertEquals(new Turn(true, false, false), duty.look(10, Standing.OPEN, false, false), "no word of the group: its own trial");
+        assertEquals(
+                new Turn(true, false, false),
+                duty.look(10, Standing.OPEN, false, false),
+                "no word of the group: its own trial");
         assertEquals(new Turn(true, true, false), duty.look(20, Standing.HALF_OPEN, false, true));
         duty.back();
         assertEquals(new Turn(false, false, false), duty.look(40, Standing.HALF_OPEN, false, true));
         assertEquals(new Turn(false, false, false), duty.look(50, Standing.CLOSED, false, false));
-        assertTrue(duty.look(60, Standing.OPEN, false, true).defers(), "what was said of one outage says nothing of the next");
+        assertTrue(
+                duty.look(60, Standing.OPEN, false, true).defers(),
+                "what was said of one outage says nothing of the next");
     }
 
     @Test
@@ -56,13 +61,13 @@
             at.add(c.member(name).ready());
         }
         c.outside().fail(true);
-        feed(c, at, 5_000);   // the breakers open, and the lease is taken
+        feed(c, at, 5_000); // the breakers open, and the lease is taken
         long before = c.outside().failed();
         feed(c, at, 12_000);
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
         long delivered = c.outside().delivered(), by = System.nanoTime() + 20_000_000_000L;
-        while (c.outside().delivered() < delivered + 30) {   // every member's breaker closes, or few would be delivered
+        while (c.outside().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
             assertTrue(System.nanoTime() < by, "not delivered again after the outage");
             feed(c, at, 200);
         }
@@ -75,7 +80,7 @@
             for (String member : at) {
                 c.outside().send(member, 1).get(10, TimeUnit.SECONDS);
             }
-            Cluster.pause(50);   // the traffic's own pace
+            Cluster.pause(50); // the traffic's own pace
         }
     }
 
@@ -85,7 +90,8 @@
         try (Cluster c = new Cluster(PLAN, folder.resolve("off"), Cluster.Setup.OFF)) {
             each = callsInAnOutage(c);
         }
-        try (Cluster c = new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "trials = one\n", true, true))) {
+        try (Cluster c =
+                new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "trials = one\n", true, true))) {
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L), "the group has a leader");
             one = callsInAnOutage(c);
             assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
--- a/src/test/java/elderseam/fleet/rig/OneWatchTest.java
+++ b/src/test/java/elderseam/fleet/rig/OneWatchTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** One member watches discovery for all, on three real processes: fewer calls, and news reach everybody over a crash of the one. */
-@ResourceLock("rig two")   // each class starts some processes: two classes at a time
+@ResourceLock("rig two") // each class starts some processes: two classes at a time
 class OneWatchTest {
     private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
     private static final int SECONDS = 3;
@@ -26,7 +26,7 @@
 
     private static long callsIn(Cluster c, int seconds) throws Exception {
         long before = c.outside().lists();
-        Cluster.pause(seconds * 1_000L);   // the span that is measured
+        Cluster.pause(seconds * 1_000L); // the span that is measured
         return c.outside().lists() - before;
     }
 
@@ -47,12 +47,19 @@
         try (Cluster c = new Cluster(PLAN, folder.resolve("off"), Cluster.Setup.OFF)) {
             each = callsIn(c, SECONDS);
         }
-        try (Cluster c = new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true, true))) {
-            assertTrue(c.say("fleet: ", "another watches discovery", 2, by(20)), "two members leave the watch to the third");
+        try (Cluster c =
+                new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true, true))) {
+            assertTrue(
+                    c.say("fleet: ", "another watches discovery", 2, by(20)),
+                    "two members leave the watch to the third");
             long one = callsIn(c, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
             allLearnOf(c, c.outside().grow());
-            String watcher = c.group().stream().filter(g -> !c.saying("fleet: ", "another watches discovery").contains(g)).findFirst().orElseThrow();
+            String watcher = c.group().stream()
+                    .filter(g ->
+                            !c.saying("fleet: ", "another watches discovery").contains(g))
+                    .findFirst()
+                    .orElseThrow();
             c.befall(Fault.parse(0, "crash " + watcher));
             assertTrue(c.say("fleet: ", "watches discovery", 1, by(30)), "one of the others takes the watch over");
             c.heal(true);
--- a/src/test/java/elderseam/fleet/rig/SharesTest.java
+++ b/src/test/java/elderseam/fleet/rig/SharesTest.java
@@ -14,9 +14,10 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Choices of eight real processes that add up: even subsets, limits divided by who is there, one trial by turns. Off and on in one run. */
-@ResourceLock("rig two")   // each class starts some processes: two classes at a time
+@ResourceLock("rig two") // each class starts some processes: two classes at a time
 class SharesTest {
-    private static final String SHARES = "[shares]\nmembers = gossip\nhold_s = 2\nendpoint_connections = 2\nconnections_each = 1\n";
+    private static final String SHARES =
+            "[shares]\nmembers = gossip\nhold_s = 2\nendpoint_connections = 2\nconnections_each = 1\n";
 
     @TempDir
     Path folder;
@@ -43,9 +44,10 @@
         }
         long sum = 0, delivered = by(10);
         long[] now = c.outside().calls();
-        while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum()) < (long) messages * living(c).size()) {
+        while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum())
+                < (long) messages * living(c).size()) {
             assertTrue(System.nanoTime() < delivered, sum + " calls");
-            Cluster.pause(20);   // the calls follow their answers
+            Cluster.pause(20); // the calls follow their answers
             now = c.outside().calls();
         }
         long most = 0;
@@ -64,7 +66,8 @@
         try (Cluster c = new Cluster(plan(8), folder.resolve("on"), Cluster.Setup.gossiping(SHARES), 4)) {
             assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "all see all");
             on = unevenness(c, 20);
-            System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off + " each for itself, " + on + " by subsets");
+            System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off
+                    + " each for itself, " + on + " by subsets");
             assertTrue(on < 1.15, on + " by subsets, " + off + " without");
             for (int i = 4; i <= 8; i++) {
                 c.befall(Fault.parse(0, "crash n" + i));
@@ -91,7 +94,7 @@
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
         long delivered = c.outside().delivered(), until = by(20);
-        while (c.outside().delivered() < delivered + 40) {   // more than one member could deliver in the time alone
+        while (c.outside().delivered() < delivered + 40) { // more than one member could deliver in the time alone
             assertTrue(System.nanoTime() < until, "not delivered again after the outage");
             OneTrialTest.feed(c, at, 200);
         }
@@ -105,7 +108,8 @@
         try (Cluster c = new Cluster(plan(4), folder.resolve("off"), Cluster.Setup.gossiping(""))) {
             each = callsInAnOutage(c);
         }
-        try (Cluster c = new Cluster(plan(4), folder.resolve("on"), Cluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
+        try (Cluster c = new Cluster(
+                plan(4), folder.resolve("on"), Cluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
             assertTrue(c.say("shares: ", "4 members, limits are divided by 4", 4, by(30)), "all see all");
             c.befall(Fault.parse(0, "lose 30"));
             one = callsInAnOutage(c);
--- a/src/test/java/elderseam/fleet/rig/VersionsTest.java
+++ b/src/test/java/elderseam/fleet/rig/VersionsTest.java
@@ -16,9 +16,9 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /** Versions that three real processes agree on, and what befalls them meanwhile. */
-@ResourceLock("rig one")   // each class starts some processes: two classes at a time
+@ResourceLock("rig one") // each class starts some processes: two classes at a time
 class VersionsTest {
-    private static final int RATE = 1;   // of a rule that refuses nearly all
+    private static final int RATE = 1; // of a rule that refuses nearly all
 
     @TempDir
     Path folder;
@@ -28,7 +28,9 @@
     }
 
     private FleetRun.Result play(String plant, int rounds) throws Exception {
-        return FleetRun.run(new FleetRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)), System.out::println);
+        return FleetRun.run(
+                new FleetRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)),
+                System.out::println);
     }
 
     @Test
@@ -40,11 +42,14 @@
 
     @Test
     void whatIsPlantedIsFound() throws Exception {
-        assertFalse(play("no-confirm", 2).violations().isEmpty(), "a member that is cut off acts on the old version without end");
+        assertFalse(
+                play("no-confirm", 2).violations().isEmpty(),
+                "a member that is cut off acts on the old version without end");
     }
 
     private Cluster cluster(Map<String, Integer> clocks) throws Exception {
-        Cluster c = new Cluster(new Plan(3, 1_200, 5, 150, 1_000, clocks, List.of()), folder.resolve("c"), VersionRun.setup(null));
+        Cluster c = new Cluster(
+                new Plan(3, 1_200, 5, 150, 1_000, clocks, List.of()), folder.resolve("c"), VersionRun.setup(null));
         Proposals.agreed(c, by(30));
         return c;
     }
@@ -77,20 +82,26 @@
             c.befall(Fault.parse(0, "isolate n1"));
             assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
-            assertFalse(Proposals.propose(c, "n2", VersionRun.write(c, 1), "without n1").isEmpty());
-            while (!value(c, "n2", "acting").startsWith("2 ") || !value(c, "n3", "acting").startsWith("2 ")) {
-                Cluster.pause(20);   // the group's own word is asked for
+            assertFalse(Proposals.propose(c, "n2", VersionRun.write(c, 1), "without n1")
+                    .isEmpty());
+            while (!value(c, "n2", "acting").startsWith("2 ")
+                    || !value(c, "n3", "acting").startsWith("2 ")) {
+                Cluster.pause(20); // the group's own word is asked for
             }
             assertEquals(202, send(c, "n2"), "the side with the majority serves");
-            assertTrue(value(c, "n1", "acting").startsWith("1 ") && value(c, "n1", "doubt").equals("yes"));
+            assertTrue(value(c, "n1", "acting").startsWith("1 ")
+                    && value(c, "n1", "doubt").equals("yes"));
             c.befall(Fault.parse(0, "crash n1"));
-            c.befall(Fault.parse(0, "restart"));   // on its folder, two versions behind by now, and still cut off
+            c.befall(Fault.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
             assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
             c.heal(true);
             Proposals.agreed(c, by(30));
             assertTrue(value(c, "n1", "acting").startsWith("2 "));
             assertEquals(202, send(c, "n1"));
-            assertEquals(List.of(), Checkers.read(c.histories()).agreement(VersionRun.BOUND_MS + VersionRun.CLOCK_MS, VersionRun.STEP_MS));
+            assertEquals(
+                    List.of(),
+                    Checkers.read(c.histories())
+                            .agreement(VersionRun.BOUND_MS + VersionRun.CLOCK_MS, VersionRun.STEP_MS));
         }
         List<Version> kept = new VersionFolder(folder.resolve("c/n1/state/versions")).all();
         assertEquals(List.of(1L, 2L), kept.stream().map(Version::number).toList(), "what a folder tells offline");
@@ -102,9 +113,13 @@
         try (Cluster c = cluster(Map.of())) {
             Path strict = c.folder().resolve("strict");
             Files.createDirectories(strict);
-            Files.writeString(strict.resolve("few.rules"), "[limit few]\nrate_per_s = " + RATE + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
+            Files.writeString(
+                    strict.resolve("few.rules"),
+                    "[limit few]\nrate_per_s = " + RATE
+                            + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
             Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
-            String one = Proposals.propose(c, "n1", few, "one"), two = Proposals.propose(c, "n2", VersionRun.write(c, 7), "two");
+            String one = Proposals.propose(c, "n1", few, "one"),
+                    two = Proposals.propose(c, "n2", VersionRun.write(c, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
             String won = Proposals.agreed(c, by(30));
             while (won.equals(Version.NONE.hash().substring(0, 12))) {
@@ -115,17 +130,22 @@
 
             // a path that is there in the process n1 alone: what is missing on another machine
             String there = "/proc/self/task/" + c.member("n1").pid() + "/root" + strict.resolve("few.rules");
-            Path mine = Files.writeString(Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"), "[rules]\nfiles = " + there + "\n");
+            Path mine = Files.writeString(
+                    Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"),
+                    "[rules]\nfiles = " + there + "\n");
             assertFalse(Proposals.propose(c, "n1", mine, "a file of n1's own").isEmpty());
             while (!value(c, "n1", "ended").contains("refused: ")) {
                 Cluster.pause(20);
             }
-            assertTrue(value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"), value(c, "n1", "ended"));
+            assertTrue(
+                    value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"),
+                    value(c, "n1", "ended"));
             assertEquals("1", value(c, "n2", "latest").split(" ")[0], "none has adopted it");
 
             String back = c.member("n2").told("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
-            while (!value(c, "n3", "acting").startsWith("3 ") || !Proposals.agreed(c, by(30)).equals(Version.NONE.hash().substring(0, 12))) {
+            while (!value(c, "n3", "acting").startsWith("3 ")
+                    || !Proposals.agreed(c, by(30)).equals(Version.NONE.hash().substring(0, 12))) {
                 Cluster.pause(20);
             }
             assertTrue(c.member("n3").told("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
@@ -137,14 +157,16 @@
     void discoveryMovesByAVersion() throws Exception {
         Outside other = new Outside(3, 1);
         try (Cluster c = cluster(Map.of())) {
-            Path file = Files.writeString(Files.createDirectories(c.folder().resolve("move")).resolve("version.ini"), "[discovery]\naddress = " + other.address() + "\n");
+            Path file = Files.writeString(
+                    Files.createDirectories(c.folder().resolve("move")).resolve("version.ini"),
+                    "[discovery]\naddress = " + other.address() + "\n");
             adopted(c, "n3", file);
             long until = by(20);
             while (other.lists() < 3) {
                 assertTrue(System.nanoTime() < until, other.lists() + " calls at the new place");
                 Cluster.pause(20);
             }
-            Cluster.pause(1_500);   // the last watch at the old place has been answered
+            Cluster.pause(1_500); // the last watch at the old place has been answered
             long old = c.outside().lists();
             Cluster.pause(1_500);
             assertEquals(old, c.outside().lists(), "nobody asks the old place");
--- a/src/test/java/elderseam/fleet/share/ShareTest.java
+++ b/src/test/java/elderseam/fleet/share/ShareTest.java
@@ -24,13 +24,27 @@
         List<String> hosts = names("s", 14);
         for (int n : new int[] {8, 30, 100, 300}) {
             Map<String, List<String>> all = Subsets.all(Way.BOUNDED, names("m", n), hosts, 4);
-            assertTrue(all.values().stream().allMatch(own -> own.size() == 4 && own.stream().distinct().count() == 4));
-            assertTrue(Subsets.unevenness(all, hosts) <= Math.max(1.15, Math.ceil(n * 4 / 14.0) / (n * 4 / 14.0) + 1e-9), n + " members");
-            assertEquals(all, Subsets.all(Way.BOUNDED, names("m", n).stream().sorted(java.util.Comparator.reverseOrder()).toList(), hosts, 4), "whatever the order of names");
+            assertTrue(all.values().stream()
+                    .allMatch(own -> own.size() == 4 && own.stream().distinct().count() == 4));
+            assertTrue(
+                    Subsets.unevenness(all, hosts) <= Math.max(1.15, Math.ceil(n * 4 / 14.0) / (n * 4 / 14.0) + 1e-9),
+                    n + " members");
+            assertEquals(
+                    all,
+                    Subsets.all(
+                            Way.BOUNDED,
+                            names("m", n).stream()
+                                    .sorted(java.util.Comparator.reverseOrder())
+                                    .toList(),
+                            hosts,
+                            4),
+                    "whatever the order of names");
             double moved = Subsets.moved(all, Subsets.all(Way.BOUNDED, names("m", n + 1), hosts, 4));
             assertTrue(moved < 0.25, moved + " of the connections move when one joins " + n);
         }
-        assertTrue(Subsets.unevenness(Subsets.all(Way.RENDEZVOUS, names("m", 100), hosts, 4), hosts) > 1.15, "chance alone is not even");
+        assertTrue(
+                Subsets.unevenness(Subsets.all(Way.RENDEZVOUS, names("m", 100), hosts, 4), hosts) > 1.15,
+                "chance alone is not even");
         assertEquals(1, Subsets.size(1_000, 14, 10, 2));
         assertEquals(14, Subsets.size(10, 14, 0, 2), "no limit known: all");
         assertEquals(3, Subsets.size(8, 12, 4, 2));
@@ -68,7 +82,10 @@
     }
 
     private static String other(String task, String self, boolean first) {
-        return names("x", 50).stream().filter(m -> Turns.owner(task, List.of(self, m)).equals(m) == first).findFirst().orElseThrow();
+        return names("x", 50).stream()
+                .filter(m -> Turns.owner(task, List.of(self, m)).equals(m) == first)
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -79,12 +96,18 @@
         assertFalse(duty.defers(10, Standing.OPEN, List.of(new Other(later, Standing.OPEN))), "its own turn");
         assertTrue(duty.defers(20, Standing.OPEN, List.of(new Other(first, Standing.OPEN))));
         assertTrue(duty.defers(30, Standing.HALF_OPEN, List.of(new Other(first, Standing.HALF_OPEN))));
-        assertFalse(duty.defers(2_100, Standing.HALF_OPEN, List.of(new Other(first, Standing.HALF_OPEN))), "it has nothing to try with");
-        assertTrue(duty.defers(2_200, Standing.HALF_OPEN, List.of(new Other(first, Standing.OPEN))), "it has tried, in vain");
+        assertFalse(
+                duty.defers(2_100, Standing.HALF_OPEN, List.of(new Other(first, Standing.HALF_OPEN))),
+                "it has nothing to try with");
+        assertTrue(
+                duty.defers(2_200, Standing.HALF_OPEN, List.of(new Other(first, Standing.OPEN))),
+                "it has tried, in vain");
         assertFalse(duty.defers(2_300, Standing.HALF_OPEN, List.of()), "it is not heard of any more");
         assertTrue(duty.defers(2_400, Standing.HALF_OPEN, List.of(new Other(first, Standing.OPEN))));
         assertFalse(duty.defers(2_500, Standing.HALF_OPEN, List.of(new Other(first, Standing.CLOSED))), "it is back");
-        assertFalse(duty.defers(2_600, Standing.HALF_OPEN, List.of(new Other(first, Standing.OPEN))), "and not waited for again in this outage");
+        assertFalse(
+                duty.defers(2_600, Standing.HALF_OPEN, List.of(new Other(first, Standing.OPEN))),
+                "and not waited for again in this outage");
         duty.defers(2_700, Standing.CLOSED, List.of());
         assertTrue(duty.defers(2_800, Standing.OPEN, List.of(new Other(first, Standing.OPEN))), "but in the next one");
     }
--- a/src/test/java/elderseam/gossip/AgentTest.java
+++ b/src/test/java/elderseam/gossip/AgentTest.java
@@ -32,7 +32,9 @@
 
         @Override
         public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
-            return key == name.hashCode() && seal[0] == (byte) name.charAt(0) && seal[1] == (byte) Arrays.hashCode(bytes);
+            return key == name.hashCode()
+                    && seal[0] == (byte) name.charAt(0)
+                    && seal[1] == (byte) Arrays.hashCode(bytes);
         }
 
         @Override
@@ -44,7 +46,8 @@
     private long now = 100 * S;
     private long wall = 1_000_000;
     private final Ceiling ceiling = new Ceiling(64 << 10, 100, now);
-    private final Agent agent = new Agent("a", "a:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("a"), now, new SplittableRandom(1), (n, s) -> { });
+    private final Agent agent = new Agent(
+            "a", "a:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("a"), now, new SplittableRandom(1), (n, s) -> {});
     private final Map<Long, Agent.Word> words = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
 
@@ -54,7 +57,11 @@
 
     private Signed signed(Claim c, String by, long at) {
         Seals s = new Seals(by);
-        return new Signed(c, at, c.reporter().hashCode(), s.seal(Codec.sealed(c, at, c.reporter().hashCode())));
+        return new Signed(
+                c,
+                at,
+                c.reporter().hashCode(),
+                s.seal(Codec.sealed(c, at, c.reporter().hashCode())));
     }
 
     private void tell(String from, Signed... claims) {
@@ -172,9 +179,20 @@
     /** A member that may not be where a rumour puts it is not taken on; nor one that is not on the roster. */
     @Test
     void aRumourOfAnAddressThatIsNotItsOwn() {
-        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("c", "d:1", Standing.ALIVE, 1, "c"),
-                new Rumour("d", "d:1", Standing.ALIVE, 1, "d")), List.of()), now, wall, wall);
-        assertEquals(2, agent.dropped(Agent.Drop.STRANGER) + agent.membership().seen().size());
+        agent.receive(
+                "b",
+                new Packet(
+                        new Message.News(),
+                        List.of(
+                                new Rumour("c", "d:1", Standing.ALIVE, 1, "c"),
+                                new Rumour("d", "d:1", Standing.ALIVE, 1, "d")),
+                        List.of()),
+                now,
+                wall,
+                wall);
+        assertEquals(
+                2,
+                agent.dropped(Agent.Drop.STRANGER) + agent.membership().seen().size());
         assertEquals("d", agent.membership().seen().get(0).member());
     }
 
@@ -183,14 +201,35 @@
     void anIncarnationCanNotBePushedBeyondBelief() {
         long ownBefore = agent.membership().state().get(0).incarnation(), most = wall + 86_400_000;
         for (long lie : new long[] {Long.MAX_VALUE / 2, most + 1}) {
-            agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, lie, "b")), List.of()), now, wall, wall);
+            agent.receive(
+                    "b",
+                    new Packet(
+                            new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, lie, "b")), List.of()),
+                    now,
+                    wall,
+                    wall);
         }
         assertEquals(ownBefore, agent.membership().state().get(0).incarnation());
         assertEquals(2, agent.dropped(Agent.Drop.AHEAD));
-        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, most, "b")), List.of()), now, wall, wall);
+        agent.receive(
+                "b",
+                new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, most, "b")), List.of()),
+                now,
+                wall,
+                wall);
         Rumour refutes = agent.membership().state().get(0);
         assertEquals(most + 1, refutes.incarnation());
-        Agent other = new Agent("c", "c:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("c"), now, new SplittableRandom(2), (n, s) -> { });
+        Agent other = new Agent(
+                "c",
+                "c:1",
+                List.of(),
+                1,
+                Tempo.USUAL,
+                ceiling,
+                new Seals("c"),
+                now,
+                new SplittableRandom(2),
+                (n, s) -> {});
         other.receive("a", new Packet(new Message.News(), List.of(refutes), List.of()), now, wall, wall);
         assertEquals(Standing.ALIVE, other.membership().standing("a"));
     }
@@ -198,7 +237,12 @@
     /** Above the ceiling nothing leaves; while it binds, the newest and most confirmed claims are the ones that do. */
     @Test
     void theCeilingLetsTheMostConfirmedGoFirst() {
-        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()), now, wall, wall);
+        agent.receive(
+                "b",
+                new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()),
+                now,
+                wall,
+                wall);
         for (int d = 1; d <= 30; d++) {
             says("b", d, Claim.State.OPEN);
         }
@@ -215,7 +259,9 @@
             agent.tick(now);
             for (Agent.Outgoing o : agent.sent(now)) {
                 bytes += o.bytes().length + 160;
-                Codec.decode(java.nio.ByteBuffer.wrap(o.bytes())).claims().forEach(s -> said.add(s.claim().destination()));
+                Codec.decode(java.nio.ByteBuffer.wrap(o.bytes()))
+                        .claims()
+                        .forEach(s -> said.add(s.claim().destination()));
             }
         }
         assertTrue(bytes <= 1_000 + 2 * 1_000, bytes + " bytes in two seconds");
@@ -228,7 +274,8 @@
     @Test
     void ownClaims() {
         look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 500, 4, 4));
-        assertEquals(List.of(2L), agent.claims().stream().map(Claim::destination).toList());
+        assertEquals(
+                List.of(2L), agent.claims().stream().map(Claim::destination).toList());
         long first = agent.claims().get(0).number();
         pass(1);
         look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 0, 4, 4));
@@ -274,7 +321,8 @@
             }
         };
         String self = "a".repeat(64), address = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
-        Agent a = new Agent(self, address, List.of(), 1, Tempo.USUAL, ceiling, anybody, now, new SplittableRandom(1), (n, s) -> { });
+        Agent a = new Agent(
+                self, address, List.of(), 1, Tempo.USUAL, ceiling, anybody, now, new SplittableRandom(1), (n, s) -> {});
         List<Rumour> all = new ArrayList<>();
         for (int i = 0; i < 1_024; i++) {
             all.add(new Rumour(String.format("%064d", i), address, Standing.SUSPECT, 1, "b".repeat(64)));
@@ -282,7 +330,15 @@
         a.receive("b", new Packet(new Message.State(true), all, List.of()), now, wall, wall);
         for (int i = 0; i < 200; i++) {
             String reporter = String.format("%064d", i);
-            a.receive(reporter, new Packet(new Message.News(), List.of(), List.of(new Signed(open(reporter, 1, i), wall, 1, new byte[64]))), now, wall, wall);
+            a.receive(
+                    reporter,
+                    new Packet(
+                            new Message.News(),
+                            List.of(),
+                            List.of(new Signed(open(reporter, 1, i), wall, 1, new byte[64]))),
+                    now,
+                    wall,
+                    wall);
         }
         int state = Codec.encode(a.state(true, now), 2 * Packet.STATE).length + Packet.envelope(self);
         assertTrue(state > 190_000 && state <= Packet.STATE, state + " bytes");
@@ -299,7 +355,12 @@
 
     @Test
     void whoIsOffTheRosterIsForgotten() {
-        agent.receive("b", new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()), now, wall, wall);
+        agent.receive(
+                "b",
+                new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()),
+                now,
+                wall,
+                wall);
         for (String r : List.of("b", "c", "d", "e", "f")) {
             says(r, 1, Claim.State.OPEN);
         }
--- a/src/test/java/elderseam/gossip/ClaimsTest.java
+++ b/src/test/java/elderseam/gossip/ClaimsTest.java
@@ -20,14 +20,20 @@
 /** The merge of claims as a join semilattice, what one claim is worth, and what two buckets let pass. */
 class ClaimsTest {
     private static final long S = 1_000_000_000L;
-    private static final Comparator<Claim> ALL = Comparator.comparing(Claim::reporter).thenComparingLong(Claim::destination)
+    private static final Comparator<Claim> ALL = Comparator.comparing(Claim::reporter)
+            .thenComparingLong(Claim::destination)
             .thenComparing(Claim.AGE);
 
     @Provide
     Arbitrary<List<Claim>> claims() {
-        Arbitrary<Claim> claim = Combinators.combine(Arbitraries.of("a", "b", "c"), Arbitraries.longs().between(0, 2),
-                Arbitraries.longs().between(0, 3), Arbitraries.longs().between(1, 3), Arbitraries.of(Claim.State.class),
-                Arbitraries.integers().between(0, 2)).as((r, i, n, d, state, wait) -> new Claim(r, i, n, d, state, wait, 4, wait, 1));
+        Arbitrary<Claim> claim = Combinators.combine(
+                        Arbitraries.of("a", "b", "c"),
+                        Arbitraries.longs().between(0, 2),
+                        Arbitraries.longs().between(0, 3),
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.of(Claim.State.class),
+                        Arbitraries.integers().between(0, 2))
+                .as((r, i, n, d, state, wait) -> new Claim(r, i, n, d, state, wait, 4, wait, 1));
         return claim.list().ofMaxSize(12);
     }
 
@@ -55,7 +61,8 @@
     }
 
     @Property
-    void mergingIsAssociative(@ForAll("claims") List<Claim> a, @ForAll("claims") List<Claim> b, @ForAll("claims") List<Claim> c) {
+    void mergingIsAssociative(
+            @ForAll("claims") List<Claim> a, @ForAll("claims") List<Claim> b, @ForAll("claims") List<Claim> c) {
         Claims ab = of(List.copyOf(merged(of(a), of(b)))), bc = of(List.copyOf(merged(of(b), of(c))));
         assertEquals(merged(ab, of(c)), merged(of(a), bc));
     }
@@ -69,7 +76,8 @@
     @Property
     void theNewestOfEachIsHeld(@ForAll("claims") List<Claim> a) {
         for (Claim held : of(a).all()) {
-            assertTrue(a.stream().filter(c -> c.reporter().equals(held.reporter()) && c.destination() == held.destination())
+            assertTrue(a.stream()
+                    .filter(c -> c.reporter().equals(held.reporter()) && c.destination() == held.destination())
                     .allMatch(c -> Claim.AGE.compare(c, held) <= 0));
         }
     }
@@ -111,7 +119,8 @@
         Advice advice = new Advice();
         assertEquals(0, advice.doubt(List.of(open("a", 1, 1)), 0, 0, 0));
         double two = advice.doubt(List.of(open("a", 1, 1), open("b", 1, 1)), 0, 0, 0);
-        double five = advice.doubt(List.of(open("a", 1, 1), open("b", 1, 1), open("c", 1, 1), open("d", 1, 1), open("e", 1, 1)), 0, 0, 0);
+        double five = advice.doubt(
+                List.of(open("a", 1, 1), open("b", 1, 1), open("c", 1, 1), open("d", 1, 1), open("e", 1, 1)), 0, 0, 0);
         assertTrue(two > 0 && two < five && five <= 1, two + " " + five);
         assertEquals(0, advice.doubt(List.of(new Claim("a", 1, 1, 1, Claim.State.CLOSED, 0, 9, 9, 1)), 0, 0, 0));
     }
--- a/src/test/java/elderseam/gossip/FleetTest.java
+++ b/src/test/java/elderseam/gossip/FleetTest.java
@@ -20,7 +20,9 @@
     }
 
     private static long of(Fleet fleet, String name, Standing standing) {
-        return fleet.changes().stream().filter(c -> c.of().equals(name) && c.standing() == standing).count();
+        return fleet.changes().stream()
+                .filter(c -> c.of().equals(name) && c.standing() == standing)
+                .count();
     }
 
     /** Found and told by all within SWIM's bounds: a period and more to be probed, the suspicion, a few rounds of rumour. */
@@ -54,7 +56,8 @@
         fleet.resume("n0005");
         fleet.pass(20 * S);
         assertTrue(of(fleet, "n0005", Standing.SUSPECT) > 0, "it was suspected");
-        assertTrue(fleet.changes().subList(before, fleet.changes().size()).stream().noneMatch(c -> c.standing() == Standing.DEAD));
+        assertTrue(fleet.changes().subList(before, fleet.changes().size()).stream()
+                .noneMatch(c -> c.standing() == Standing.DEAD));
         assertTrue(fleet.agreed());
     }
 
@@ -77,7 +80,7 @@
         fleet.pass(100 * S);
         assertEquals(Standing.DEAD, fleet.standing("n0000", "n0001"));
         assertEquals(Standing.ALIVE, fleet.standing("n0000", "n0002"));
-        fleet.pass(200 * S);   // by now each half has forgotten the other
+        fleet.pass(200 * S); // by now each half has forgotten the other
         fleet.part(false);
         assertTrue(fleet.untilAgreed(240 * S) >= 0);
     }
@@ -129,12 +132,15 @@
     /** What a member sends does not grow with the fleet. */
     @Test
     void trafficIsFlat() {
-        long few = Trial.run(5, 0, true, 60, 9).bytesPerS(), many = Trial.run(200, 0, true, 60, 9).bytesPerS();
+        long few = Trial.run(5, 0, true, 60, 9).bytesPerS(),
+                many = Trial.run(200, 0, true, 60, 9).bytesPerS();
         assertTrue(many < 3 * few, few + " bytes a second of 5, " + many + " of 200");
     }
 
     @Test
     void oneSeedGivesTheSameBytes() {
-        assertEquals(Trial.run(40, 0.2, true, 30, 11).json(), Trial.run(40, 0.2, true, 30, 11).json());
+        assertEquals(
+                Trial.run(40, 0.2, true, 30, 11).json(),
+                Trial.run(40, 0.2, true, 30, 11).json());
     }
 }
--- a/src/test/java/elderseam/gossip/RollModelTest.java
+++ b/src/test/java/elderseam/gossip/RollModelTest.java
@@ -27,7 +27,8 @@
  */
 class RollModelTest {
     private static final int INCARNATIONS = 3, STEPS = 7;
-    private static final List<String> PROPERTIES = List.of("neverBack", "onlyTheSubjectRaises", "refutationWins", "deadStaysUntilOutbid");
+    private static final List<String> PROPERTIES =
+            List.of("neverBack", "onlyTheSubjectRaises", "refutationWins", "deadStaysUntilOutbid");
 
     /** A standing and an incarnation, as the model names it: A0, S0, D0, L0, A1, ... */
     private record Held(Standing standing, long incarnation) {
@@ -55,7 +56,7 @@
 
     /** What the true code holds of a member after that. */
     private static Held hear(Held held, Held heard) {
-        Roll roll = new Roll("o", "o:1", 0, Tempo.USUAL, (n, s) -> { }, m -> { }, () -> { });
+        Roll roll = new Roll("o", "o:1", 0, Tempo.USUAL, (n, s) -> {}, m -> {}, () -> {});
         roll.hear(rumour(new Held(Standing.ALIVE, held.incarnation)), 0);
         roll.hear(rumour(held), 0);
         roll.hear(rumour(heard), 0);
@@ -65,34 +66,56 @@
 
     /** The incarnation of a subject that hears that of itself. */
     private static long refute(long own, Held heard) {
-        Roll roll = new Roll("s", "s:1", own, Tempo.USUAL, (n, s) -> { }, m -> { }, () -> { });
+        Roll roll = new Roll("s", "s:1", own, Tempo.USUAL, (n, s) -> {}, m -> {}, () -> {});
         roll.hear(rumour(heard), 0);
         return roll.own(Standing.ALIVE).incarnation();
     }
 
     private static String model(BinaryOperator<Held> hear) {
         List<Held> all = states(false);
-        StringBuilder names = new StringBuilder(), table = new StringBuilder(), refutes = new StringBuilder(), rank = new StringBuilder();
+        StringBuilder names = new StringBuilder(),
+                table = new StringBuilder(),
+                refutes = new StringBuilder(),
+                rank = new StringBuilder();
         StringBuilder same = new StringBuilder();
         for (Held h : all) {
             names.append(names.length() > 0 ? ", " : "").append(h);
             for (Held r : all) {
-                table.append(table.length() > 0 ? " + " : "").append(h).append("->").append(r).append("->").append(hear.apply(h, r));
-                if (h.incarnation < r.incarnation || h.incarnation == r.incarnation && h.standing.compareTo(r.standing) < 0) {
-                    rank.append(rank.length() > 0 ? " + " : "").append(h).append("->").append(r);
+                table.append(table.length() > 0 ? " + " : "")
+                        .append(h)
+                        .append("->")
+                        .append(r)
+                        .append("->")
+                        .append(hear.apply(h, r));
+                if (h.incarnation < r.incarnation
+                        || h.incarnation == r.incarnation && h.standing.compareTo(r.standing) < 0) {
+                    rank.append(rank.length() > 0 ? " + " : "")
+                            .append(h)
+                            .append("->")
+                            .append(r);
                 }
                 if (h.incarnation < r.incarnation) {
-                    same.append(same.length() > 0 ? " + " : "").append(h).append("->").append(r);
+                    same.append(same.length() > 0 ? " + " : "")
+                            .append(h)
+                            .append("->")
+                            .append(r);
                 }
                 long own = h.incarnation, next = refute(own, r);
-                if (h.standing == Standing.ALIVE && next < INCARNATIONS) {   // beyond the scope the subject has nothing to say
-                    refutes.append(refutes.length() > 0 ? " + " : "").append(h).append("->").append(r).append("->A").append(next);
+                if (h.standing == Standing.ALIVE
+                        && next < INCARNATIONS) { // beyond the scope the subject has nothing to say
+                    refutes.append(refutes.length() > 0 ? " + " : "")
+                            .append(h)
+                            .append("->")
+                            .append(r)
+                            .append("->A")
+                            .append(next);
                 }
             }
         }
         StringBuilder suspect = new StringBuilder(), dies = new StringBuilder();
         for (int i = 0; i < INCARNATIONS; i++) {
-            suspect.append(i > 0 && i < INCARNATIONS - 1 ? " + " : "").append(i < INCARNATIONS - 1 ? "A" + i + "->S" + i : "");
+            suspect.append(i > 0 && i < INCARNATIONS - 1 ? " + " : "")
+                    .append(i < INCARNATIONS - 1 ? "A" + i + "->S" + i : "");
             dies.append(i > 0 ? " + " : "").append("S" + i + "->D" + i);
         }
         return """
@@ -148,7 +171,8 @@
         Map<String, Boolean> found = new LinkedHashMap<>();
         for (Command c : world.getAllCommands()) {
             if (only.contains(c.label)) {
-                A4Solution s = TranslateAlloyToKodkod.execute_command(A4Reporter.NOP, world.getAllReachableSigs(), c, options);
+                A4Solution s =
+                        TranslateAlloyToKodkod.execute_command(A4Reporter.NOP, world.getAllReachableSigs(), c, options);
                 found.put(c.label, s.satisfiable());
             }
         }
@@ -161,20 +185,30 @@
         Map<String, Boolean> found = found(model, PROPERTIES);
         assertEquals(PROPERTIES, List.copyOf(found.keySet()));
         found.forEach((property, broken) -> assertFalse(broken, property));
-        assertTrue(found(model, List.of("someoneIsHeldDeadAndComesBack")).get("someoneIsHeldDeadAndComesBack"), "the model moves");
+        assertTrue(
+                found(model, List.of("someoneIsHeldDeadAndComesBack")).get("someoneIsHeldDeadAndComesBack"),
+                "the model moves");
     }
 
     /** Faults planted in what a member does with a rumour; each must be found by the property that is there for it. */
     @ParameterizedTest
-    @ValueSource(strings = {"neverBack: alive of the same incarnation counts", "deadStaysUntilOutbid: a suspicion revives the dead",
-        "refutationWins: a dead one is never believed alive"})
+    @ValueSource(
+            strings = {
+                "neverBack: alive of the same incarnation counts",
+                "deadStaysUntilOutbid: a suspicion revives the dead",
+                "refutationWins: a dead one is never believed alive"
+            })
     void aPlantedFaultIsFound(String fault) {
         String property = fault.substring(0, fault.indexOf(':'));
         BinaryOperator<Held> wrong = (held, heard) -> {
-            if (property.equals("neverBack") && heard.standing == Standing.ALIVE && heard.incarnation == held.incarnation) {
+            if (property.equals("neverBack")
+                    && heard.standing == Standing.ALIVE
+                    && heard.incarnation == held.incarnation) {
                 return heard;
             }
-            if (property.equals("deadStaysUntilOutbid") && held.standing == Standing.DEAD && heard.standing == Standing.SUSPECT
+            if (property.equals("deadStaysUntilOutbid")
+                    && held.standing == Standing.DEAD
+                    && heard.standing == Standing.SUSPECT
                     && heard.incarnation == held.incarnation) {
                 return heard;
             }
@@ -192,8 +226,11 @@
         for (Held held : states(true)) {
             for (Held heard : states(true)) {
                 Held then = hear(held, heard);
-                boolean back = (held.standing == Standing.LEFT || held.standing == Standing.DEAD) && then.standing != held.standing;
-                assertTrue(!back || heard.standing == Standing.ALIVE && heard.incarnation > held.incarnation, held + " " + heard + " " + then);
+                boolean back = (held.standing == Standing.LEFT || held.standing == Standing.DEAD)
+                        && then.standing != held.standing;
+                assertTrue(
+                        !back || heard.standing == Standing.ALIVE && heard.incarnation > held.incarnation,
+                        held + " " + heard + " " + then);
             }
         }
     }
--- a/src/test/java/elderseam/gossip/ServiceTest.java
+++ b/src/test/java/elderseam/gossip/ServiceTest.java
@@ -15,7 +15,8 @@
     @CsvSource({"5,1,0", "5,2,0", "5,3,0", "5,2,0.3", "4,0,0"})
     void liarsDoNoHarm(int instances, int liars, double loss) {
         for (int seed = 1; seed <= 2; seed++) {
-            Service off = Service.run(instances, loss, liars, false, seed), on = Service.run(instances, loss, liars, true, seed);
+            Service off = Service.run(instances, loss, liars, false, seed),
+                    on = Service.run(instances, loss, liars, true, seed);
             assertEquals(0, off.broken() + on.broken(), on::words);
             assertTrue(on.service() >= off.service() - 0.01, () -> off.words() + "\n" + on.words());
             assertTrue(on.felled() <= off.felled(), on::words);
@@ -24,14 +25,16 @@
 
     @Test
     void oneSeedGivesTheSameBytes() {
-        assertEquals(Service.run(5, 0.1, 1, true, 3).json(), Service.run(5, 0.1, 1, true, 3).json());
+        assertEquals(
+                Service.run(5, 0.1, 1, true, 3).json(),
+                Service.run(5, 0.1, 1, true, 3).json());
     }
 
     /** What claims are for: the fleet's calls to partners that are down grow fewer, over some seeds together. */
     @Test
     void aFleetFindsOutSooner() {
         int off = 0, on = 0;
-        for (int seed = 1; seed <= 8; seed++) {   // a half of a hundred fewer: three seeds together are within chance
+        for (int seed = 1; seed <= 8; seed++) { // a half of a hundred fewer: three seeds together are within chance
             off += Service.run(16, 0, 0, false, seed).callsWhileDown();
             on += Service.run(16, 0, 0, true, seed).callsWhileDown();
         }
--- a/src/test/java/elderseam/gossip/net/FrameCompatTest.java
+++ b/src/test/java/elderseam/gossip/net/FrameCompatTest.java
@@ -24,12 +24,18 @@
 
     @Test
     void aConnection() throws Exception {
-        byte[] built = ByteBuffer.allocate(4 + ENVELOPE.length).putInt(ENVELOPE.length).put(ENVELOPE).array();
-        byte[] frame = RecordedBytes.fromHex(RecordedBytes.lines("gossip/frame", List.of(RecordedBytes.hex(built))).get(0));
+        byte[] built = ByteBuffer.allocate(4 + ENVELOPE.length)
+                .putInt(ENVELOPE.length)
+                .put(ENVELOPE)
+                .array();
+        byte[] frame = RecordedBytes.fromHex(RecordedBytes.lines("gossip/frame", List.of(RecordedBytes.hex(built)))
+                .get(0));
         try (Exchanges server = new Exchanges(new Io(new Clock()), ANY_PORT, (line, bytes) -> {
-            line.send(Arrays.equals(ENVELOPE, bytes) ? bytes : new byte[] {0});
-            line.end();
-        }); Socket client = new Socket(server.local().getAddress(), server.local().getPort())) {
+                    line.send(Arrays.equals(ENVELOPE, bytes) ? bytes : new byte[] {0});
+                    line.end();
+                });
+                Socket client =
+                        new Socket(server.local().getAddress(), server.local().getPort())) {
             client.setSoTimeout(WAIT_MS);
             client.getOutputStream().write(frame);
             assertArrayEquals(frame, client.getInputStream().readAllBytes());
@@ -39,8 +45,12 @@
     @Test
     void aDatagram() throws Exception {
         Datagrams[] server = new Datagrams[1];
-        server[0] = new Datagrams(new Io(new Clock()), ANY_PORT, (from, bytes, length) -> server[0].send(from, Arrays.copyOf(bytes, length)));
-        try (Datagrams closed = server[0]; DatagramSocket client = new DatagramSocket(ANY_PORT)) {
+        server[0] = new Datagrams(
+                new Io(new Clock()),
+                ANY_PORT,
+                (from, bytes, length) -> server[0].send(from, Arrays.copyOf(bytes, length)));
+        try (Datagrams closed = server[0];
+                DatagramSocket client = new DatagramSocket(ANY_PORT)) {
             client.setSoTimeout(WAIT_MS);
             client.send(new DatagramPacket(ENVELOPE, ENVELOPE.length, closed.local()));
             DatagramPacket answer = new DatagramPacket(new byte[100], 100);
--- a/src/test/java/elderseam/gossip/trust/DoorTest.java
+++ b/src/test/java/elderseam/gossip/trust/DoorTest.java
@@ -27,6 +27,7 @@
 
     @TempDir
     Path folder;
+
     private KeyFile keyA, keyB, keyC;
     private Roster roster;
     private InetAddress atA, atB;
@@ -165,7 +166,7 @@
         assertEquals(1, b.dropped(Drop.ADDRESS));
         dropped(Drop.KEY, door("a", keyC).seal("b", body(1), 5, now));
         dropped(Drop.UNKNOWN, door("x", keyC).seal("b", body(1), 5, now));
-        dropped(Drop.UNKNOWN, b.seal("a", body(1), 5, now));   // its own name
+        dropped(Drop.UNKNOWN, b.seal("a", body(1), 5, now)); // its own name
         assertNotNull(atB(good).packet(), "none of that has harmed it");
         assertEquals(1, b.droppedFrom(atB));
     }
@@ -178,7 +179,7 @@
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 1;
-            now += S;   // the budget of checks is not the matter here
+            now += S; // the budget of checks is not the matter here
             assertNull(atB(bad).packet(), "byte " + i);
         }
         assertNotNull(atB(good).packet());
@@ -208,7 +209,8 @@
         for (int i = 0; i < 5_000; i++) {
             random.nextBytes(junk);
             InetAddress from = InetAddress.getByAddress(new byte[] {10, 0, (byte) (i / 256), (byte) i});
-            assertNull(b.open(from, junk, random.nextInt(junk.length), MOST, 7, now).packet());
+            assertNull(b.open(from, junk, random.nextInt(junk.length), MOST, 7, now)
+                    .packet());
         }
         assertEquals(1_024, b.sources());
         assertEquals(5_000, b.dropped(Drop.FORM));
@@ -220,7 +222,9 @@
         for (int i = 0; i < 1_000; i++) {
             atB(spoilt);
         }
-        assertTrue(b.dropped(Drop.SEAL) <= 100 && b.dropped(Drop.RATE) >= 900, b.dropped(Drop.SEAL) + " seals were checked");
+        assertTrue(
+                b.dropped(Drop.SEAL) <= 100 && b.dropped(Drop.RATE) >= 900,
+                b.dropped(Drop.SEAL) + " seals were checked");
         int hellos = 0;
         for (int i = 0; i < 1_000; i++) {
             byte[] stranger = door("a", keyA).seal("b", body(1), 5, now);
--- a/src/test/java/elderseam/gossip/trust/EnvelopeCompatTest.java
+++ b/src/test/java/elderseam/gossip/trust/EnvelopeCompatTest.java
@@ -28,6 +28,7 @@
 
     @TempDir
     Path folder;
+
     private KeyFile keyA, keyB;
     private Roster roster;
     private InetAddress atA, atB;
@@ -36,8 +37,13 @@
     void readKeys() throws IOException {
         if (RecordedBytes.missing(KEYS)) {
             Path keys = Files.createDirectories(RecordedBytes.path(KEYS));
-            String a = KeyFile.make(keys.resolve("a")).text(), b = KeyFile.make(keys.resolve("b")).text(), next = KeyFile.make(keys.resolve("next")).text();
-            Files.writeString(keys.resolve(ROSTER), "# NAME CIDR[,CIDR...] KEY [KEY]\n\na 127.1.0.0/16,fd00::/64 " + a + " " + next + "\nb 127.2.0.1 " + b + "\n");
+            String a = KeyFile.make(keys.resolve("a")).text(),
+                    b = KeyFile.make(keys.resolve("b")).text(),
+                    next = KeyFile.make(keys.resolve("next")).text();
+            Files.writeString(
+                    keys.resolve(ROSTER),
+                    "# NAME CIDR[,CIDR...] KEY [KEY]\n\na 127.1.0.0/16,fd00::/64 " + a + " " + next + "\nb 127.2.0.1 "
+                            + b + "\n");
         }
         Path copy = RecordedBytes.copy(RecordedBytes.path(KEYS), folder.resolve("keys"));
         keyA = KeyFile.read(copy.resolve("a"));
@@ -57,8 +63,11 @@
 
     @Test
     void roster() {
-        assertEquals(List.of("a", "b"), roster.all().stream().map(Roster.Entry::name).toList());
-        assertEquals(List.of("127.1.0.0/16", "fd00::/64"), roster.get("a").ranges().stream().map(Object::toString).toList());
+        assertEquals(
+                List.of("a", "b"), roster.all().stream().map(Roster.Entry::name).toList());
+        assertEquals(
+                List.of("127.1.0.0/16", "fd00::/64"),
+                roster.get("a").ranges().stream().map(Object::toString).toList());
         assertEquals(2, roster.get("a").texts().size());
         assertEquals(List.of(keyB.text()), roster.get("b").texts());
     }
@@ -71,30 +80,42 @@
     }
 
     private static List<String> shape(Path keyFile) throws IOException {
-        return Files.readAllLines(keyFile).stream().map(l -> l.startsWith("-----") ? l : l.replaceAll("[A-Za-z0-9+/]", "x")).toList();
+        return Files.readAllLines(keyFile).stream()
+                .map(l -> l.startsWith("-----") ? l : l.replaceAll("[A-Za-z0-9+/]", "x"))
+                .toList();
     }
 
     /** The first envelope, the hello that answers it, and one that opens; and the signature of a report. */
     @Test
     void envelopes() throws IOException {
         Door a = door("a", keyA), b = door("b", keyB);
-        byte[] first = a.seal("b", BODY, WALL_MS, NOW), hello = open(b, atA, first).back();
+        byte[] first = a.seal("b", BODY, WALL_MS, NOW),
+                hello = open(b, atA, first).back();
         assertEquals("b", open(a, atB, hello).from());
         byte[] data = a.seal("b", BODY, WALL_MS, NOW);
-        byte[] claim = Codec.sealed(new Claim("a", 1, 2, 3, Claim.State.OPEN, 4, 20, 10, 10_000), WALL_MS, keyA.number());
+        byte[] claim =
+                Codec.sealed(new Claim("a", 1, 2, 3, Claim.State.OPEN, 4, 20, 10, 10_000), WALL_MS, keyA.number());
         byte[] signature = new Keyring(keyA, roster).seal(claim);
-        List<String> written = List.of(RecordedBytes.hex(first), RecordedBytes.hex(hello), RecordedBytes.hex(data), RecordedBytes.hex(signature));
+        List<String> written = List.of(
+                RecordedBytes.hex(first),
+                RecordedBytes.hex(hello),
+                RecordedBytes.hex(data),
+                RecordedBytes.hex(signature));
         List<String> recorded = RecordedBytes.lines("gossip/envelopes", written);
         assertEquals(recorded, written);
 
         Door receiver = door("b", keyB), sender = door("a", keyA);
-        assertArrayEquals(RecordedBytes.fromHex(recorded.get(1)), open(receiver, atA, RecordedBytes.fromHex(recorded.get(0))).back());
+        assertArrayEquals(
+                RecordedBytes.fromHex(recorded.get(1)),
+                open(receiver, atA, RecordedBytes.fromHex(recorded.get(0))).back());
         sender.seal("b", BODY, WALL_MS, NOW);
-        assertEquals("b", open(sender, atB, RecordedBytes.fromHex(recorded.get(1))).from());
+        assertEquals(
+                "b", open(sender, atB, RecordedBytes.fromHex(recorded.get(1))).from());
         Opened opened = open(receiver, atA, RecordedBytes.fromHex(recorded.get(2)));
         assertEquals(MESSAGE, opened.packet().message());
         assertEquals("a", opened.from());
         assertEquals(WALL_MS, opened.wallMs());
-        assertTrue(new Keyring(keyB, roster).genuine("a", keyA.number(), claim, RecordedBytes.fromHex(recorded.get(3))));
+        assertTrue(
+                new Keyring(keyB, roster).genuine("a", keyA.number(), claim, RecordedBytes.fromHex(recorded.get(3))));
     }
 }
--- a/src/test/java/elderseam/http/ClosingTest.java
+++ b/src/test/java/elderseam/http/ClosingTest.java
@@ -27,7 +27,8 @@
     private static final String GET = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final int MOST = 3;
 
-    private final BlockingQueue<Server.Answerer> asked = new LinkedBlockingQueue<>();   // of requests for anything but /now
+    private final BlockingQueue<Server.Answerer> asked =
+            new LinkedBlockingQueue<>(); // of requests for anything but /now
     private final List<Socket> clients = new ArrayList<>();
     private Io io;
     private Server server;
@@ -35,13 +36,20 @@
     @BeforeEach
     void serve() throws Exception {
         io = new Io(new Clock());
-        server = new Server(io, new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 99, 0, 2}), 0), 64 << 10, MOST, 1 << 20, null, (r, to) -> {
-            if (r.path().equals("/now")) {
-                to.answer(200, Map.of(), "");
-            } else {
-                asked.add(to);
-            }
-        });
+        server = new Server(
+                io,
+                new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 99, 0, 2}), 0),
+                64 << 10,
+                MOST,
+                1 << 20,
+                null,
+                (r, to) -> {
+                    if (r.path().equals("/now")) {
+                        to.answer(200, Map.of(), "");
+                    } else {
+                        asked.add(to);
+                    }
+                });
     }
 
     @AfterEach
@@ -110,7 +118,7 @@
         assertEquals("", rest(s), "nothing that is read after the end is answered");
         send(s, GET);
         s.close();
-        onIo(() -> { });
+        onIo(() -> {});
         assertEquals(List.of(), List.copyOf(asked));
     }
 
@@ -120,11 +128,12 @@
         Socket s = resting();
         CompletableFuture<Void> sent = new CompletableFuture<>();
         CompletableFuture<Void> done = new CompletableFuture<>();
-        io.run(() -> {   // the I/O thread is here: it has not read the request when it is told to close
-            sent.join();
-            server.closeIdle();
-            io.afterReading(() -> done.complete(null));
-        });
+        io.run(
+                () -> { // the I/O thread is here: it has not read the request when it is told to close
+                    sent.join();
+                    server.closeIdle();
+                    io.afterReading(() -> done.complete(null));
+                });
         send(s, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
         sent.complete(null);
         done.get(20, TimeUnit.SECONDS);
@@ -138,7 +147,7 @@
     void aHalfReadHeadIsNotClosedUpon() throws Exception {
         Socket s = resting();
         send(s, GET.substring(0, 20));
-        onIo(() -> { });   // read by then
+        onIo(() -> {}); // read by then
         onIo(server::closeIdle);
         onIo(server::endConnections);
         send(s, GET.substring(20));
@@ -148,10 +157,11 @@
     /** The answer before an end gets through whatever the client sends at once behind its request. */
     @Test
     void anAnswerOutlivesAFlood() throws Exception {
-        String flood = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n" + "x".repeat(150_000);
+        String flood =
+                "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n" + "x".repeat(150_000);
         String huge = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(150_000);
         String surplus = GET + GET + "x".repeat(150_000);
-        String none = "GET /now HTTP/1.1\r\nHost: a\r\n" + "A".repeat(150_000);   // Undertow itself refuses it
+        String none = "GET /now HTTP/1.1\r\nHost: a\r\n" + "A".repeat(150_000); // Undertow itself refuses it
         for (String text : List.of(flood, huge, surplus, none, none, none, none)) {
             Socket s = client(text);
             assertEquals(text == huge ? 413 : 400, Integer.parseInt(answer(s).substring(9, 12)));
@@ -172,7 +182,7 @@
                 sent += more.length;
             }
         } catch (IOException e) {
-            return;   // as it should
+            return; // as it should
         }
         throw new AssertionError("still read after " + sent + " bytes");
     }
@@ -206,7 +216,7 @@
         Socket half = resting(), idle = resting();
         resting();
         send(half, GET.substring(0, 20));
-        onIo(() -> { });   // read by then
+        onIo(() -> {}); // read by then
         assertTrue(answer(client(GET)).startsWith("HTTP/1.1 200"));
         assertEquals("", rest(idle));
         send(half, GET.substring(20));
@@ -249,9 +259,17 @@
         resting();
         CompletableFuture<List<Boolean>> delayed = new CompletableFuture<>();
         Connections connections = new Connections(io, 1_000 * Clock.MS, 5, 1 << 10);
-        UpstreamHost self = new UpstreamHost("self", server.address().getAddress().getHostAddress() + ":" + server.address().getPort());
+        UpstreamHost self = new UpstreamHost(
+                "self",
+                server.address().getAddress().getHostAddress() + ":"
+                        + server.address().getPort());
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        io.run(() -> connections.send(self, Call.get("/now"), io.clock.now() + 9_000 * Clock.MS, io.clock.now() + 9_000 * Clock.MS, reply::complete));
+        io.run(() -> connections.send(
+                self,
+                Call.get("/now"),
+                io.clock.now() + 9_000 * Clock.MS,
+                io.clock.now() + 9_000 * Clock.MS,
+                reply::complete));
         assertEquals(200, reply.get(20, TimeUnit.SECONDS).code());
         onIo(() -> {
             try {
--- a/src/test/java/elderseam/http/InheritedTest.java
+++ b/src/test/java/elderseam/http/InheritedTest.java
@@ -23,7 +23,14 @@
         CompletableFuture<Server> made = new CompletableFuture<>();
         io.run(() -> {
             try {
-                made.complete(new Server(io, (InetSocketAddress) socket.getLocalAddress(), socket, 1 << 10, 32, 1 << 20, null,
+                made.complete(new Server(
+                        io,
+                        (InetSocketAddress) socket.getLocalAddress(),
+                        socket,
+                        1 << 10,
+                        32,
+                        1 << 20,
+                        null,
                         (r, to) -> to.answer(200, Map.of(), name)));
             } catch (Exception e) {
                 made.completeExceptionally(e);
@@ -46,7 +53,8 @@
 
     @Test
     void connectionsGoToWhoeverAcceptsAndAreKept() throws Exception {
-        try (ServerSocketChannel socket = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        try (ServerSocketChannel socket =
+                ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             Io io = new Io(new Clock());
             Server older = server(io, socket, "older");
             InetSocketAddress at = older.address();
@@ -58,7 +66,7 @@
                 stopped.complete(null);
             });
             stopped.get(5, TimeUnit.SECONDS);
-            Socket between = new Socket(at.getAddress(), at.getPort());   // waits at the socket, which nobody closes
+            Socket between = new Socket(at.getAddress(), at.getPort()); // waits at the socket, which nobody closes
             Server newer = server(io, socket, "newer");
             assertEquals("newer", ask(between));
             assertEquals("older", ask(kept), "a connection stays where it was accepted, and is kept");
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/ProgressTest.java
@@ -18,7 +18,7 @@
 
 /** How far an attempt had come when it broke: only past its last byte may the other side have run it. */
 class ProgressTest {
-    private static final InetAddress HERE = here();   // where no other test listens: a port given back stays free
+    private static final InetAddress HERE = here(); // where no other test listens: a port given back stays free
     private final Io io;
     private final Connections connections;
 
@@ -38,8 +38,12 @@
     private CompletableFuture<Reply> send(int port, int bytes, long connectMs) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         long by = io.clock.now() + 10_000 * Clock.MS;
-        io.run(() -> connections.send(new UpstreamHost("h", HERE.getHostAddress() + ":" + port),
-                new Call("POST", "/x", Map.of(), new byte[bytes]), io.clock.now() + connectMs * Clock.MS, by, reply::complete));
+        io.run(() -> connections.send(
+                new UpstreamHost("h", HERE.getHostAddress() + ":" + port),
+                new Call("POST", "/x", Map.of(), new byte[bytes]),
+                io.clock.now() + connectMs * Clock.MS,
+                by,
+                reply::complete));
         return reply;
     }
 
@@ -101,9 +105,10 @@
             Call call = new Call("POST", "/x", Map.of(), new byte[10]);
             long by = io.clock.now() + 10_000 * Clock.MS;
             CompletableFuture<Reply> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
-            io.run(() -> connections.send(host, call, by, by, () -> false, () -> { }, null, held::complete));
+            io.run(() -> connections.send(host, call, by, by, () -> false, () -> {}, null, held::complete));
             check(Progress.NOT_CONNECTED, Status.HELD, held);
-            io.run(() -> connections.send(host, new Call("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
+            io.run(() ->
+                    connections.send(host, new Call("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
             try (Socket s = server.accept()) {
                 assertEquals("POST /later", new String(s.getInputStream().readNBytes(11)));
                 s.setSoLinger(true, 0);
@@ -122,18 +127,21 @@
             for (boolean before : List.of(true, false)) {
                 CompletableFuture<Reply> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
                 CompletableFuture<Connections.Request> request = new CompletableFuture<>();
-                io.run(() -> request.complete(connections.send(host, call, by, by, () -> true, () -> { }, late::complete, reply::complete)));
+                io.run(() -> request.complete(
+                        connections.send(host, call, by, by, () -> true, () -> {}, late::complete, reply::complete)));
                 try (Socket s = server.accept()) {
                     InputStream in = s.getInputStream();
                     head(in);
-                    byte[] answer = "HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                            .getBytes();
+                    byte[] answer =
+                            "HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                                    .getBytes();
                     if (before) {
                         CompletableFuture<Void> written = new CompletableFuture<>();
-                        io.run(() -> {   // the I/O thread is here: it has not read the answer when it gives up
-                            written.join();
-                            request.join().abandon();
-                        });
+                        io.run(
+                                () -> { // the I/O thread is here: it has not read the answer when it gives up
+                                    written.join();
+                                    request.join().abandon();
+                                });
                         s.getOutputStream().write(answer);
                         written.complete(null);
                         assertEquals(429, reply.get(20, TimeUnit.SECONDS).code());
@@ -152,7 +160,8 @@
     /** Where no more may be open, one that carries a request stays, and the new request has not left; an idle one makes room. */
     @Test
     void noRequestIsEndedToMakeRoom() throws Exception {
-        try (ServerSocket one = new ServerSocket(0, 1, HERE); ServerSocket other = new ServerSocket(0, 1, HERE)) {
+        try (ServerSocket one = new ServerSocket(0, 1, HERE);
+                ServerSocket other = new ServerSocket(0, 1, HERE)) {
             io.run(() -> connections.most(1));
             CompletableFuture<Reply> first = send(one.getLocalPort(), 10, 5_000);
             Socket carrying = one.accept();
--- a/src/test/java/elderseam/lab/LabTest.java
+++ b/src/test/java/elderseam/lab/LabTest.java
@@ -18,8 +18,19 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class LabTest {
-    private static final List<String> SMALL = List.of("[scenario small]", "seconds = 8", "[fleet f]", "dispatchers = 2", "[kind bank]", "destinations = 2", "per_s = 15",
-            "[trouble t]", "kind = bank", "at = 2", "for = 3", "fault = hang");
+    private static final List<String> SMALL = List.of(
+            "[scenario small]",
+            "seconds = 8",
+            "[fleet f]",
+            "dispatchers = 2",
+            "[kind bank]",
+            "destinations = 2",
+            "per_s = 15",
+            "[trouble t]",
+            "kind = bank",
+            "at = 2",
+            "for = 3",
+            "fault = hang");
 
     @TempDir
     Path folder;
@@ -28,7 +39,8 @@
     @Test
     void aSweepGoesOnWhereItWas() throws Exception {
         Sweep sweep = new Sweep("small", SMALL, folder.resolve("s"));
-        List<Sweep.Cell> cells = Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "fail")), List.of("module", "robin"), 1, 2);
+        List<Sweep.Cell> cells =
+                Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "fail")), List.of("module", "robin"), 1, 2);
         assertEquals(8, cells.size());
         int[] last = new int[2];
         assertEquals(8, sweep.run(cells, 4, (done, all) -> {
@@ -39,21 +51,37 @@
         Path file = folder.resolve("s/runs.jsonl");
         List<String> whole = Files.readAllLines(file).stream().sorted().toList();
         List<String> lines = Files.readAllLines(file);
-        Files.writeString(file, String.join("\n", lines.subList(0, 5)) + "\n" + lines.get(5).substring(0, 40));
-        assertEquals(3, sweep.run(cells, 4, (done, all) -> { }));
+        Files.writeString(
+                file,
+                String.join("\n", lines.subList(0, 5)) + "\n" + lines.get(5).substring(0, 40));
+        assertEquals(3, sweep.run(cells, 4, (done, all) -> {}));
         assertEquals(whole, Files.readAllLines(file).stream().sorted().toList());
-        assertEquals(0, sweep.run(cells, 1, (done, all) -> { }));
-        assertThrows(IOException.class, () -> new Sweep("other", List.of("[kind k]"), folder.resolve("s")).run(List.of(), 1, (done, all) -> { }));
+        assertEquals(0, sweep.run(cells, 1, (done, all) -> {}));
+        assertThrows(
+                IOException.class,
+                () -> new Sweep("other", List.of("[kind k]"), folder.resolve("s"))
+                        .run(List.of(), 1, (done, all) -> {}));
         String csv = Table.csv(Table.read(file));
-        assertTrue(csv.startsWith("cell,trouble.t.fault,policy,seed,service,") && csv.lines().count() == 9, csv);
+        assertTrue(
+                csv.startsWith("cell,trouble.t.fault,policy,seed,service,")
+                        && csv.lines().count() == 9,
+                csv);
     }
 
     /** A value of the grid that can't be is told before any run. */
     @Test
     void aGridIsCheckedWhole() {
         Sweep sweep = new Sweep("small", SMALL, folder.resolve("t"));
-        assertThrows(SettingsFault.class, () -> sweep.run(Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "odd")), List.of("module"), 1, 1), 1, (d, a) -> { }));
-        assertThrows(SettingsFault.class, () -> sweep.run(Sweep.cells(Map.of("trouble.u.at", List.of("1")), List.of("module"), 1, 1), 1, (d, a) -> { }));
+        assertThrows(
+                SettingsFault.class,
+                () -> sweep.run(
+                        Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "odd")), List.of("module"), 1, 1),
+                        1,
+                        (d, a) -> {}));
+        assertThrows(
+                SettingsFault.class,
+                () -> sweep.run(
+                        Sweep.cells(Map.of("trouble.u.at", List.of("1")), List.of("module"), 1, 1), 1, (d, a) -> {}));
         assertFalse(Files.exists(folder.resolve("t/runs.jsonl")));
     }
 
@@ -69,7 +97,12 @@
         }
         Compare none = Compare.of(a, same), some = Compare.of(a, more);
         assertTrue(none.noise() && none.low() < 0 && none.high() > 0, none.words());
-        assertTrue(!some.noise() && some.low() > 0.03 && some.high() < 0.17 && some.words().endsWith("more"), some.words());
+        assertTrue(
+                !some.noise()
+                        && some.low() > 0.03
+                        && some.high() < 0.17
+                        && some.words().endsWith("more"),
+                some.words());
         assertEquals(some, Compare.of(a, more), "its resamples have a seed of their own");
         assertTrue(Compare.of(new double[] {0, 0}, new double[] {1, 1}).noise());
         assertThrows(IllegalArgumentException.class, () -> Compare.of(a, new double[2]));
@@ -91,22 +124,30 @@
     @Test
     void aWorstDayIsFoundAndShrunk() throws Exception {
         List<String> calm = SMALL.subList(0, 7);
-        Find.Found f = new Find("small", calm, "robin", "oracle", 1, words -> { }).search(60);
+        Find.Found f = new Find("small", calm, "robin", "oracle", 1, words -> {}).search(60);
         assertTrue(f.gap() > 0.1 && f.played() <= 62, f.toString());
         Plan plan = PlanFile.of("found", f.scenario(), Map.of());
-        assertTrue(plan.troubles().size() + plan.floods().size() + plan.restarts().size() > 0);
-        double robin = Run.of(plan, "robin", 1, s -> { }).figures().get("service"), oracle = Run.of(plan, "oracle", 1, s -> { }).figures().get("service");
+        assertTrue(
+                plan.troubles().size() + plan.floods().size() + plan.restarts().size() > 0);
+        double robin = Run.of(plan, "robin", 1, s -> {}).figures().get("service"),
+                oracle = Run.of(plan, "oracle", 1, s -> {}).figures().get("service");
         assertEquals(f.gap(), oracle - robin, 1e-9);
-        assertEquals(f.scenario(), new Find("small", calm, "robin", "oracle", 1, words -> { }).search(60).scenario());
+        assertEquals(
+                f.scenario(),
+                new Find("small", calm, "robin", "oracle", 1, words -> {})
+                        .search(60)
+                        .scenario());
     }
 
     /** One page that needs nothing else, with what was done to the world on it. */
     @Test
     void theReportStandsAlone() throws Exception {
         Plan plan = PlanFile.of("small", SMALL, Map.of());
-        String page = Report.page(plan, List.of(Run.of(plan, "module", 1, s -> { }), Run.of(plan, "robin", 1, s -> { })));
+        String page = Report.page(plan, List.of(Run.of(plan, "module", 1, s -> {}), Run.of(plan, "robin", 1, s -> {})));
         assertTrue(page.startsWith("<!doctype html>") && page.endsWith("</body></html>\n"));
-        assertTrue(page.contains("data:image/png;base64,") && page.contains("bank hang") && page.contains("robin, seed 1"));
+        assertTrue(page.contains("data:image/png;base64,")
+                && page.contains("bank hang")
+                && page.contains("robin, seed 1"));
         assertFalse(page.contains("http://") || page.contains("https://"), "nothing is fetched");
     }
 }
--- a/src/test/java/elderseam/module/AdviceTest.java
+++ b/src/test/java/elderseam/module/AdviceTest.java
@@ -12,7 +12,7 @@
 
 /** What others' word may do to a breaker, and what it may not. */
 class AdviceTest {
-    private final Rig rig = Rig.simple(8);   // destination 1 is listed
+    private final Rig rig = Rig.simple(8); // destination 1 is listed
 
     private Sender.Breaker breaker() {
         List<Sender.Breaker> seen = new ArrayList<>();
--- a/src/test/java/elderseam/module/BreakerTest.java
+++ b/src/test/java/elderseam/module/BreakerTest.java
@@ -1,16 +1,16 @@
 package elderseam.module;
 
+import static elderseam.module.Rig.MS;
+import static elderseam.module.Rig.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
 
+import elderseam.module.Sender.Listing;
+import elderseam.module.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
 
 class BreakerTest {
     private final Rig rig = Rig.simple(8);
@@ -54,8 +54,8 @@
             Rig.Attempt a = r.only(id);
             r.answer(id, result);
             // a repeated outcome is passed over
-            r.brain.outcome(r.now, new Sender.Outcome(id, a.number(), "a:1", result, 0, 0, false, false,
-                    Sender.Report.NONE));
+            r.brain.outcome(
+                    r.now, new Sender.Outcome(id, a.number(), "a:1", result, 0, 0, false, false, Sender.Report.NONE));
             r.brain.turnEnd(r.now);
             r.pass(3 * S);
             while (!r.out().isEmpty()) {
@@ -66,7 +66,9 @@
             for (int i = 0; i < 20; i++) {
                 r.submit(0, -1, 1);
             }
-            assertTrue(r.out().size() >= 1 && r.out().size() <= 6, result + ": " + r.out().size() + " out");
+            assertTrue(
+                    r.out().size() >= 1 && r.out().size() <= 6,
+                    result + ": " + r.out().size() + " out");
         }
     }
 
@@ -198,7 +200,7 @@
     void aCallDecidedInTheKeysWindowDoesNotBeginAfterIt() {
         Rig r = Rig.simple(8);
         String id = r.submit(1, -1, 1);
-        r.answer(id, Result.TIMEOUT);   // it may have run: 6 s from its start
+        r.answer(id, Result.TIMEOUT); // it may have run: 6 s from its start
         r.pass(300 * MS);
         assertTrue(r.sent(id) && r.out().size() == 1, "tried again within the window");
         assertTrue(r.brain.mayCall(r.now, id, "a:1"));
@@ -211,7 +213,9 @@
     @Test
     void aCallWithMoreMessagesGoesFirst() {
         Rig r = new Rig(Rig.settings(1, new Sender.Kind(false, 5), false), 1);
-        r.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY),
+        r.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("a:1", 1, 0, Listing.READY),
                 Rig.endpoint("b:1", 2, 0, Listing.READY));
         r.take(0, -1, 1);
         for (int i = 0; i < 4; i++) {
@@ -272,11 +276,35 @@
 
     private static Rig shared(int senders, long seed) {
         Sender.Settings s = Rig.settings(3, new Sender.Kind(false, 1), false);
-        Rig r = new Rig(new Sender.Settings(s.classes(), s.kinds(), s.tenantRates(), s.slots(), s.mostHeld(),
-                s.maxAttempts(), senders, 0, true, 1, true, false, false, Sender.Rates.ROUGH, s.maxRetryAfterNs(),
-                s.drainGraceNs(), s.coldShare(), s.coldNs(), s.fallMultiple(), s.fallNs(), s.keyRestNs(),
-                s.connections(), s.prices()), seed);
-        r.list(Sender.ListKind.CACHED, new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 3),
+        Rig r = new Rig(
+                new Sender.Settings(
+                        s.classes(),
+                        s.kinds(),
+                        s.tenantRates(),
+                        s.slots(),
+                        s.mostHeld(),
+                        s.maxAttempts(),
+                        senders,
+                        0,
+                        true,
+                        1,
+                        true,
+                        false,
+                        false,
+                        Sender.Rates.ROUGH,
+                        s.maxRetryAfterNs(),
+                        s.drainGraceNs(),
+                        s.coldShare(),
+                        s.coldNs(),
+                        s.fallMultiple(),
+                        s.fallNs(),
+                        s.keyRestNs(),
+                        s.connections(),
+                        s.prices()),
+                seed);
+        r.list(
+                Sender.ListKind.CACHED,
+                new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 3),
                 new Sender.Endpoint("b:1", 1, 0, 0, Listing.READY, 3));
         return r;
     }
@@ -290,7 +318,7 @@
             for (int i = 0; i < 60; i++) {
                 Rig r = shared(60, i);
                 r.submit(0, -1, 1);
-                for (int step = 0; step < 400; step++) {   // 20 s of outage
+                for (int step = 0; step < 400; step++) { // 20 s of outage
                     r.pass(50 * MS);
                     for (Rig.Attempt a : r.out()) {
                         r.answer(a, fault, 0);
@@ -309,8 +337,10 @@
     @Test
     void anEndpointThatFailsOneClassIsLeftOutForThatClassOnly() {
         Rig r = new Rig(Rig.settings(12, new Sender.Kind(false, 1), false), 5);
-        r.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 1, 1, Listing.READY));   // farther: taken only instead
+        r.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("a:1", 1, 0, Listing.READY),
+                Rig.endpoint("b:1", 1, 1, Listing.READY)); // farther: taken only instead
         int failed = 0;
         int others = 0;
         for (int i = 0; i < 300; i++) {
@@ -338,7 +368,7 @@
     void aMostlyFailingSharedDestinationCountsAsColdBelowTheFloor() {
         Rig r = shared(40, 3);
         int sent = 0;
-        for (int step = 0; step < 400; step++) {   // 20 s: two of three calls fail, never four in a row
+        for (int step = 0; step < 400; step++) { // 20 s: two of three calls fail, never four in a row
             if (step % 10 == 0) {
                 r.submit(0, -1, 1);
             }
--- a/src/test/java/elderseam/module/CarriedStateTest.java
+++ b/src/test/java/elderseam/module/CarriedStateTest.java
@@ -21,7 +21,9 @@
  * value, which reading and writing by the same code would not show, so each field is also compared by its name.
  */
 class CarriedStateTest {
-    private static final String VALUES = "learned/carried.txt", FIELDS = "learned/fields.txt", FRESH = "learned/fresh.txt";
+    private static final String VALUES = "learned/carried.txt",
+            FIELDS = "learned/fields.txt",
+            FRESH = "learned/fresh.txt";
     private static final long NOW = 9_000_000_000_000L;
     private static final Sender.Settings SETTINGS = CoreProcess.SETTINGS.settings();
 
@@ -86,13 +88,22 @@
                 }
                 case "whole" -> {
                     if (endpoint < 0) {
-                        return "3";   // endpoints
+                        return "3"; // endpoints
                     }
                     int place = wholes++;
-                    return "" + (place == 0 ? 50 + endpoint : place == 1 ? endpoint % 2 : place == 2 ? (endpoint + 1) % 2
-                            : place == 5 ? endpoint : number);   // destination, kind, zone, and the breaker's state
+                    return ""
+                            + (place == 0
+                                    ? 50 + endpoint
+                                    : place == 1
+                                            ? endpoint % 2
+                                            : place == 2
+                                                    ? (endpoint + 1) % 2
+                                                    : place == 5
+                                                            ? endpoint
+                                                            : number); // destination, kind, zone, and the breaker's
+                    // state
                 }
-                case "flag" -> {   // a pattern of its own over the three endpoints for each of the first seven
+                case "flag" -> { // a pattern of its own over the three endpoints for each of the first seven
                     return "" + ((++flags >> endpoint & 1) == 1 || flags >= 7);
                 }
                 case "real" -> {
@@ -153,18 +164,49 @@
     private static List<String> fields(Target t) {
         Brain.Circuit c = t.circuit;
         LongUnaryOperator ago = time -> (NOW - time) / 1_000_000_000L;
-        return List.of("endpoint " + t.address, "destination " + t.dest.id, "kind " + t.dest.kindNo, "zone " + t.zone, "ready " + t.ready,
-                "gone " + t.gone, "bias " + t.bias, "last used " + ago.applyAsLong(t.usedAt), "cold since " + ago.applyAsLong(t.coldFrom),
-                "next cold call " + ago.applyAsLong(t.nextCold), "failures of class 0 " + t.failures[0], "rest of class 0 " + ago.applyAsLong(t.restUntil[0]),
-                "failures of class 1 " + t.failures[1], "rest of class 1 " + ago.applyAsLong(t.restUntil[1]), "breaker state " + c.state.ordinal(),
-                "opened by a hang " + c.byHang, "open until " + ago.applyAsLong(c.openUntil), "Retry-After until " + ago.applyAsLong(c.waitUntil),
-                "last success " + ago.applyAsLong(c.lastGood), "successes since " + ago.applyAsLong(c.goodStart),
-                "consecutive failures since " + ago.applyAsLong(c.runFrom), "down since " + ago.applyAsLong(c.downFrom),
-                "consecutive failures " + c.run, "baseline latency " + c.usual, "recent latency " + c.recent, "weight " + c.weight,
-                "own rate " + c.norm, "weight at the last cut " + c.cutWeight, "pace " + c.pace, "pace level " + c.level,
-                "failure rate " + c.sick, "refilled " + ago.applyAsLong(c.refilled), "paused until " + ago.applyAsLong(c.pauseUntil),
-                "pause " + c.pause, "last cut " + ago.applyAsLong(c.lastCut), "last full " + ago.applyAsLong(c.lastFull),
-                "last failure " + ago.applyAsLong(c.lastBad), "ramp since " + ago.applyAsLong(c.rampFrom), "ramping " + c.ramping,
-                "limit advertised " + c.told, "headroom " + c.room, "calls " + c.window.calls(), "failed " + c.window.failed());
+        return List.of(
+                "endpoint " + t.address,
+                "destination " + t.dest.id,
+                "kind " + t.dest.kindNo,
+                "zone " + t.zone,
+                "ready " + t.ready,
+                "gone " + t.gone,
+                "bias " + t.bias,
+                "last used " + ago.applyAsLong(t.usedAt),
+                "cold since " + ago.applyAsLong(t.coldFrom),
+                "next cold call " + ago.applyAsLong(t.nextCold),
+                "failures of class 0 " + t.failures[0],
+                "rest of class 0 " + ago.applyAsLong(t.restUntil[0]),
+                "failures of class 1 " + t.failures[1],
+                "rest of class 1 " + ago.applyAsLong(t.restUntil[1]),
+                "breaker state " + c.state.ordinal(),
+                "opened by a hang " + c.byHang,
+                "open until " + ago.applyAsLong(c.openUntil),
+                "Retry-After until " + ago.applyAsLong(c.waitUntil),
+                "last success " + ago.applyAsLong(c.lastGood),
+                "successes since " + ago.applyAsLong(c.goodStart),
+                "consecutive failures since " + ago.applyAsLong(c.runFrom),
+                "down since " + ago.applyAsLong(c.downFrom),
+                "consecutive failures " + c.run,
+                "baseline latency " + c.usual,
+                "recent latency " + c.recent,
+                "weight " + c.weight,
+                "own rate " + c.norm,
+                "weight at the last cut " + c.cutWeight,
+                "pace " + c.pace,
+                "pace level " + c.level,
+                "failure rate " + c.sick,
+                "refilled " + ago.applyAsLong(c.refilled),
+                "paused until " + ago.applyAsLong(c.pauseUntil),
+                "pause " + c.pause,
+                "last cut " + ago.applyAsLong(c.lastCut),
+                "last full " + ago.applyAsLong(c.lastFull),
+                "last failure " + ago.applyAsLong(c.lastBad),
+                "ramp since " + ago.applyAsLong(c.rampFrom),
+                "ramping " + c.ramping,
+                "limit advertised " + c.told,
+                "headroom " + c.room,
+                "calls " + c.window.calls(),
+                "failed " + c.window.failed());
     }
 }
--- a/src/test/java/elderseam/module/ChurnTest.java
+++ b/src/test/java/elderseam/module/ChurnTest.java
@@ -30,7 +30,7 @@
         for (int i = 0; i < 100; i++) {
             rig.list(ListKind.CHANGES, Rig.endpoint("e" + i, 100 + i, 0, Listing.READY));
             rig.answer(rig.submit(2, i, 100 + i), Result.DELIVERED);
-            rig.answer(rig.submit(2, 1_000 + i, 100 + i), Result.RESET);   // its lane rests for a while
+            rig.answer(rig.submit(2, 1_000 + i, 100 + i), Result.RESET); // its lane rests for a while
             rig.list(ListKind.CHANGES, Rig.endpoint("e" + i, 100 + i, 0, Listing.GONE));
             rig.pass(S);
         }
--- a/src/test/java/elderseam/module/ConnectionsTest.java
+++ b/src/test/java/elderseam/module/ConnectionsTest.java
@@ -1,14 +1,14 @@
 package elderseam.module;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static elderseam.module.Rig.MS;
 import static elderseam.module.Rig.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-import org.junit.jupiter.api.Test;
 import elderseam.module.Sender.Listing;
 import elderseam.module.Sender.Result;
+import java.util.List;
+import org.junit.jupiter.api.Test;
 
 /** What is done with connections that stay idle. */
 class ConnectionsTest {
@@ -20,14 +20,36 @@
 
     private static Sender.Settings many(boolean apart, Sender.Rates rates) {
         Sender.Settings s = Rig.settings(8, new Sender.Kind(apart, 1), false);
-        return new Sender.Settings(s.classes(), s.kinds(), s.tenantRates(), s.slots(), s.mostHeld(),
-                s.maxAttempts(), 200, 0, true, 1, true, false, false, rates, s.maxRetryAfterNs(),
-                s.drainGraceNs(), s.coldShare(), s.coldNs(), s.fallMultiple(), s.fallNs(), s.keyRestNs(),
-                s.connections(), s.prices());
+        return new Sender.Settings(
+                s.classes(),
+                s.kinds(),
+                s.tenantRates(),
+                s.slots(),
+                s.mostHeld(),
+                s.maxAttempts(),
+                200,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                rates,
+                s.maxRetryAfterNs(),
+                s.drainGraceNs(),
+                s.coldShare(),
+                s.coldNs(),
+                s.fallMultiple(),
+                s.fallNs(),
+                s.keyRestNs(),
+                s.connections(),
+                s.prices());
     }
 
     private long disconnects(String endpoint) {
-        return rig.trace.stream().filter(l -> l.endsWith("disconnect " + endpoint)).count();
+        return rig.trace.stream()
+                .filter(l -> l.endsWith("disconnect " + endpoint))
+                .count();
     }
 
     private void deliver(long dest) {
@@ -61,7 +83,8 @@
         rig.brain.turnEnd(rig.now);
         assertTrue(!rig.out().isEmpty(), "the next goes in the same turn");
         int last = rig.trace.size() - 1;
-        assertTrue(rig.trace.subList(0, last).stream().noneMatch(l -> l.startsWith(rig.now + " disconnect")),
+        assertTrue(
+                rig.trace.subList(0, last).stream().noneMatch(l -> l.startsWith(rig.now + " disconnect")),
                 "closed only after the sends: " + before);
     }
 
@@ -105,7 +128,9 @@
         int[] sent = new int[2];
         for (int seed = 0; seed < 60; seed++) {
             Rig r = new Rig(many(true, Sender.Rates.EXACT), seed);
-            r.list(Sender.ListKind.CACHED, new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 2),
+            r.list(
+                    Sender.ListKind.CACHED,
+                    new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 2),
                     new Sender.Endpoint("b:1", 1, 0, 0, Listing.READY, 6));
             sent[r.only(r.submit(0, -1, 1)).endpoint().equals("a:1") ? 0 : 1]++;
         }
@@ -115,11 +140,35 @@
     @Test
     void aDearRouteIsTakenOnlyWhileTheCheapOneRests() {
         Sender.Settings s = Rig.settings(8, new Sender.Kind(true, 1), false);
-        Rig r = new Rig(new Sender.Settings(s.classes(), s.kinds(), s.tenantRates(), s.slots(), s.mostHeld(),
-                s.maxAttempts(), 2, 0, true, 1, true, false, false, Sender.Rates.UNTOLD, s.maxRetryAfterNs(),
-                s.drainGraceNs(), s.coldShare(), s.coldNs(), s.fallMultiple(), s.fallNs(), s.keyRestNs(),
-                s.connections(), new Sender.Prices(0, 0, List.of(1.0))), 5);
-        r.list(Sender.ListKind.CACHED, Rig.endpoint("dear:1", 1, 0, Listing.READY),
+        Rig r = new Rig(
+                new Sender.Settings(
+                        s.classes(),
+                        s.kinds(),
+                        s.tenantRates(),
+                        s.slots(),
+                        s.mostHeld(),
+                        s.maxAttempts(),
+                        2,
+                        0,
+                        true,
+                        1,
+                        true,
+                        false,
+                        false,
+                        Sender.Rates.UNTOLD,
+                        s.maxRetryAfterNs(),
+                        s.drainGraceNs(),
+                        s.coldShare(),
+                        s.coldNs(),
+                        s.fallMultiple(),
+                        s.fallNs(),
+                        s.keyRestNs(),
+                        s.connections(),
+                        new Sender.Prices(0, 0, List.of(1.0))),
+                5);
+        r.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("dear:1", 1, 0, Listing.READY),
                 Rig.endpoint("cheap:1", 1, 1, Listing.READY));
         String first = r.submit(0, -1, 1);
         assertEquals("cheap:1", r.only(first).endpoint());
--- a/src/test/java/elderseam/module/EmbeddingTest.java
+++ b/src/test/java/elderseam/module/EmbeddingTest.java
@@ -60,22 +60,57 @@
         long now = 5;
         long later = 200_000_005L;
         var settings = new Sender.Settings(
-                List.of(new Sender.MessageClass(Sender.Effect.SAFE, false, false,
-                        1_000_000_000L, 10_000_000_000L, 1, 0.2, 0)),   // aim 1 s, deadline 10 s, worth 1
-                List.of(new Sender.Kind(false, 1)),                     // endpoints share a limit, no batches
-                List.of(), 16, 500, 4, 1, 0,                            // 16 slots, 500 held, 4 attempts, 1 sender
-                false, 1, true, false, false, Sender.Rates.EXACT, 5_000_000_000L,
-                250_000_000L, 0.25, 10_000_000_000L, 2, 2_000_000_000L, 0,
+                List.of(new Sender.MessageClass(
+                        Sender.Effect.SAFE,
+                        false,
+                        false,
+                        1_000_000_000L,
+                        10_000_000_000L,
+                        1,
+                        0.2,
+                        0)), // aim 1 s, deadline 10 s, worth 1
+                List.of(new Sender.Kind(false, 1)), // endpoints share a limit, no batches
+                List.of(),
+                16,
+                500,
+                4,
+                1,
+                0, // 16 slots, 500 held, 4 attempts, 1 sender
+                false,
+                1,
+                true,
+                false,
+                false,
+                Sender.Rates.EXACT,
+                5_000_000_000L,
+                250_000_000L,
+                0.25,
+                10_000_000_000L,
+                2,
+                2_000_000_000L,
+                0,
                 new Sender.Connections(10_000_000_000L, 1, 1_500_000_000L),
                 new Sender.Prices(0.05, 0, List.of()));
-        var brain = new Brain(settings, 42, host);                      // host implements Sender.Actions
-        brain.endpoints(now, Sender.ListKind.WHOLE, List.of(
-                new Sender.Endpoint("192.0.2.1:443", 7, 0, 0, Sender.Listing.READY, 1)));
+        var brain = new Brain(settings, 42, host); // host implements Sender.Actions
+        brain.endpoints(
+                now,
+                Sender.ListKind.WHOLE,
+                List.of(new Sender.Endpoint("192.0.2.1:443", 7, 0, 0, Sender.Listing.READY, 1)));
         brain.message(now, new Sender.Message("m1", 0, 0, -1, now + 10_000_000_000L, 7, false));
-        brain.turnEnd(now);                                             // host.send("m1", "192.0.2.1:443", ...)
+        brain.turnEnd(now); // host.send("m1", "192.0.2.1:443", ...)
         assertEquals(List.of("send m1 192.0.2.1:443 10000000005"), done);
-        brain.outcome(later, new Sender.Outcome("m1", 0, "192.0.2.1:443", Sender.Result.DELIVERED,
-                later - now, 0, false, true, Sender.Report.NONE));
+        brain.outcome(
+                later,
+                new Sender.Outcome(
+                        "m1",
+                        0,
+                        "192.0.2.1:443",
+                        Sender.Result.DELIVERED,
+                        later - now,
+                        0,
+                        false,
+                        true,
+                        Sender.Report.NONE));
         brain.turnEnd(later);
         assertEquals(1, done.size(), "nothing more for a delivered message");
     }
--- a/src/test/java/elderseam/module/LimitTest.java
+++ b/src/test/java/elderseam/module/LimitTest.java
@@ -18,7 +18,10 @@
     private int serve(long ns, Result result) {
         int sent = 0;
         for (long end = rig.now + ns; rig.now < end; ) {
-            while (rig.messages.values().stream().filter(m -> m.end == null && m.out.isEmpty()).count() < 20) {
+            while (rig.messages.values().stream()
+                            .filter(m -> m.end == null && m.out.isEmpty())
+                            .count()
+                    < 20) {
                 rig.submit(0, -1, 1);
             }
             List<Rig.Attempt> out = new ArrayList<>(rig.out());
@@ -33,7 +36,7 @@
     @Test
     void aReturnIsFoundWithinTwoAndAHalfSeconds() {
         for (int i = 0; i < 4; i++) {
-            rig.answer(rig.submit(2, i, 1), Result.RESET);   // in a row: the breaker opens
+            rig.answer(rig.submit(2, i, 1), Result.RESET); // in a row: the breaker opens
         }
         rig.submit(0, -1, 1);
         assertTrue(rig.out().isEmpty(), "parked");
--- a/src/test/java/elderseam/module/PropertyTest.java
+++ b/src/test/java/elderseam/module/PropertyTest.java
@@ -1,15 +1,15 @@
 package elderseam.module;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 import static elderseam.module.Rig.MS;
 import static elderseam.module.Rig.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.module.Sender.Listing;
+import elderseam.module.Sender.Result;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
 
 /** Random legal events; the rig asserts the rules at every action. */
 class PropertyTest {
@@ -22,7 +22,9 @@
         Rig rig = new Rig(Rig.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
         int dests = 1 + random.nextInt(4);
         for (int d = 0; d < dests; d++) {
-            rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:" + d, d, 0, Listing.READY),
+            rig.list(
+                    Sender.ListKind.CHANGES,
+                    Rig.endpoint("a:" + d, d, 0, Listing.READY),
                     Rig.endpoint("b:" + d, d, 1, Listing.READY));
         }
         for (int step = 0; step < 600; step++) {
@@ -31,7 +33,7 @@
                 rig.patience = random.nextInt(4) == 0 ? 0.02 + 0.5 * random.nextDouble() : 1;
                 rig.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(dests));
             }
-            if (random.nextInt(150) == 0) {   // replaced in bulk, or an old list after a gap
+            if (random.nextInt(150) == 0) { // replaced in bulk, or an old list after a gap
                 String suffix = random.nextBoolean() ? "" : ":" + step;
                 Sender.Endpoint[] all = new Sender.Endpoint[dests];
                 for (int d = 0; d < dests; d++) {
@@ -47,7 +49,9 @@
                 } else if (roll < (ill ? 30 : 28)) {
                     Result r = Result.values()[1 + random.nextInt(Result.values().length - 1)];
                     boolean cancelled = r == Result.CANCELLED || r == Result.TIMEOUT;
-                    rig.answer(a, cancelled ? Result.RESET : r,
+                    rig.answer(
+                            a,
+                            cancelled ? Result.RESET : r,
                             r == Result.FULL && random.nextBoolean() ? random.nextInt(3000) * MS : 0);
                 }
             }
@@ -58,17 +62,22 @@
                 rig.list(Sender.ListKind.CHANGES, Rig.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
             }
             if (random.nextInt(60) == 0) {
-                rig.messages.values().stream().filter(m -> m.end == null).findFirst().ifPresent(m -> {
-                    m.end = "withdrawn";
-                    rig.brain.withdrawn(rig.now, m.msg.id());
-                });
+                rig.messages.values().stream()
+                        .filter(m -> m.end == null)
+                        .findFirst()
+                        .ifPresent(m -> {
+                            m.end = "withdrawn";
+                            rig.brain.withdrawn(rig.now, m.msg.id());
+                        });
             }
             rig.brain.turnEnd(rig.now);
             rig.pass(5 * MS * (1 + random.nextInt(20)));
         }
         rig.pass(30 * S);
         rig.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
-        delivered += rig.messages.values().stream().filter(m -> "delivered".equals(m.end)).count();
+        delivered += rig.messages.values().stream()
+                .filter(m -> "delivered".equals(m.end))
+                .count();
         return rig.trace;
     }
 
@@ -92,20 +101,42 @@
     void rulesHoldForManySmallSenders() {
         int senders = 40;
         Sender.Settings s = Rig.settings(2, new Sender.Kind(false, 1), true);
-        Sender.Settings small = new Sender.Settings(s.classes(), s.kinds(), s.tenantRates(), s.slots(), 12,
-                s.maxAttempts(), senders, 0, true, 1, true, false, false, Sender.Rates.ROUGH, s.maxRetryAfterNs(),
-                s.drainGraceNs(), s.coldShare(), s.coldNs(), s.fallMultiple(), s.fallNs(), s.keyRestNs(),
-                s.connections(), s.prices());
+        Sender.Settings small = new Sender.Settings(
+                s.classes(),
+                s.kinds(),
+                s.tenantRates(),
+                s.slots(),
+                12,
+                s.maxAttempts(),
+                senders,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                Sender.Rates.ROUGH,
+                s.maxRetryAfterNs(),
+                s.drainGraceNs(),
+                s.coldShare(),
+                s.coldNs(),
+                s.fallMultiple(),
+                s.fallNs(),
+                s.keyRestNs(),
+                s.connections(),
+                s.prices());
         SplittableRandom random = new SplittableRandom(11);
         Rig[] rigs = new Rig[senders];
         for (int i = 0; i < senders; i++) {
             rigs[i] = new Rig(small, i);
-            rigs[i].list(Sender.ListKind.CACHED, new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 8),
+            rigs[i].list(
+                    Sender.ListKind.CACHED,
+                    new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 8),
                     new Sender.Endpoint("b:1", 2, 0, 0, Listing.READY, 8));
         }
         int onReturn = 0;
         int done = 0;
-        for (int step = 0; step < 600; step++) {   // 30 s: down from 5 s to 15 s, then cold at a quarter
+        for (int step = 0; step < 600; step++) { // 30 s: down from 5 s to 15 s, then cold at a quarter
             boolean down = step >= 100 && step < 300;
             int room = random.nextInt(2);
             for (Rig r : rigs) {
@@ -125,7 +156,9 @@
         for (Rig r : rigs) {
             r.pass(30 * S);
             r.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
-            done += r.messages.values().stream().filter(m -> "delivered".equals(m.end)).count();
+            done += r.messages.values().stream()
+                    .filter(m -> "delivered".equals(m.end))
+                    .count();
         }
         // what all send in the first 2 s after the return: some 5 of the traffic itself, and few of the parked
         assertTrue(onReturn <= 20, onReturn + " calls in the first 2 s after the return");
--- a/src/test/java/elderseam/module/Rig.java
+++ b/src/test/java/elderseam/module/Rig.java
@@ -5,16 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.module.Sender.Effect;
+import elderseam.module.Sender.Listing;
+import elderseam.module.Sender.MessageClass;
+import elderseam.module.Sender.Result;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import elderseam.module.Sender.Effect;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.MessageClass;
-import elderseam.module.Sender.Result;
 
 /** A host under test's control: carries out what the module asks and asserts the six rules at every action. */
 final class Rig implements Sender.Actions {
@@ -47,6 +47,7 @@
     final Map<String, Sent> messages = new LinkedHashMap<>();
     /** Messages unfinished, or with attempts out. */
     final Map<String, Sent> active = new LinkedHashMap<>();
+
     final Map<String, Sender.Endpoint> listed = new HashMap<>();
     final Map<String, Long> leftAt = new HashMap<>();
     final Map<String, Long> waits = new HashMap<>();
@@ -58,8 +59,8 @@
     long now = 1_000 * S;
     int subscribes;
     int timersSet;
-    Sender.Report report = Sender.Report.NONE;   // what the next answers tell
-    double patience = 1;   // share of the class's time that the next messages have left
+    Sender.Report report = Sender.Report.NONE; // what the next answers tell
+    double patience = 1; // share of the class's time that the next messages have left
     private int ids;
 
     Rig(Sender.Settings settings, long seed) {
@@ -69,13 +70,33 @@
 
     /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
     static Sender.Settings settings(int slots, Sender.Kind kind, boolean perZone) {
-        return new Sender.Settings(List.of(
-                new MessageClass(Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
-                new MessageClass(Effect.KEYED, perZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
-                new MessageClass(Effect.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
-                List.of(kind), List.of(), slots, 300, 6, 2, 0, true, 1, true, false, false, Sender.Rates.UNTOLD,
-                2 * S, 250 * MS, 0.25, 10 * S, 2, 2 * S, 100 * MS,
-                new Sender.Connections(10 * S, 1, 1500 * MS), new Sender.Prices(0.05, 0, List.of()));
+        return new Sender.Settings(
+                List.of(
+                        new MessageClass(Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
+                        new MessageClass(Effect.KEYED, perZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
+                        new MessageClass(Effect.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
+                List.of(kind),
+                List.of(),
+                slots,
+                300,
+                6,
+                2,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                Sender.Rates.UNTOLD,
+                2 * S,
+                250 * MS,
+                0.25,
+                10 * S,
+                2,
+                2 * S,
+                100 * MS,
+                new Sender.Connections(10 * S, 1, 1500 * MS),
+                new Sender.Prices(0.05, 0, List.of()));
     }
 
     static Rig simple(int slots) {
@@ -114,7 +135,8 @@
     String take(int cls, long key, long dest) {
         String id = String.format("%016x", ++ids);
         MessageClass c = settings.classes().get(cls);
-        Sender.Message m = new Sender.Message(id, cls, 0, key, now + (long) (c.deadlineNs() * patience), dest, patience < 1);
+        Sender.Message m =
+                new Sender.Message(id, cls, 0, key, now + (long) (c.deadlineNs() * patience), dest, patience < 1);
         Sent sent = new Sent(m, c);
         messages.put(id, sent);
         active.put(id, sent);
@@ -168,8 +190,18 @@
         if (waitNs > 0) {
             waits.merge(route(a.endpoint()), now + waitNs, Math::max);
         }
-        brain.outcome(now, new Sender.Outcome(a.id(), a.number(), a.endpoint(), result, now - a.start(), waitNs,
-                false, s.end != null, report));
+        brain.outcome(
+                now,
+                new Sender.Outcome(
+                        a.id(),
+                        a.number(),
+                        a.endpoint(),
+                        result,
+                        now - a.start(),
+                        waitNs,
+                        false,
+                        s.end != null,
+                        report));
     }
 
     private String route(String endpoint) {
@@ -267,8 +299,9 @@
         Sent s = messages.get(id);
         assertTrue(retryAfterNs >= 0 && retryAfterNs <= settings.maxRetryAfterNs(), "retry-after out of range");
         assertTrue(s.out.isEmpty(), "refused with an attempt out");
-        assertFalse(s.maybeRan && (s.cls.effect() == Effect.UNSAFE || s.cls.effect() == Effect.KEYED
-                && s.cls.keyPerZone()), "refused though it may have run");
+        assertFalse(
+                s.maybeRan && (s.cls.effect() == Effect.UNSAFE || s.cls.effect() == Effect.KEYED && s.cls.keyPerZone()),
+                "refused though it may have run");
         end(s, "refused");
     }
 
@@ -282,7 +315,8 @@
     public void timer(long token, long afterNs) {
         assertTrue(afterNs > 0);
         timersSet++;
-        timers.computeIfAbsent((now + afterNs) / 1000 * 1000, k -> new ArrayList<>()).add(token);
+        timers.computeIfAbsent((now + afterNs) / 1000 * 1000, k -> new ArrayList<>())
+                .add(token);
     }
 
     @Override
--- a/src/test/java/elderseam/module/RulesTest.java
+++ b/src/test/java/elderseam/module/RulesTest.java
@@ -1,16 +1,16 @@
 package elderseam.module;
 
+import static elderseam.module.Rig.MS;
+import static elderseam.module.Rig.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
 
-import org.junit.jupiter.api.Test;
 import elderseam.module.Sender.Kind;
 import elderseam.module.Sender.Listing;
 import elderseam.module.Sender.Result;
+import org.junit.jupiter.api.Test;
 
 class RulesTest {
     @Test
@@ -48,7 +48,9 @@
     @Test
     void aKeyOfOneZoneStaysInItsZone() {
         Rig rig = new Rig(Rig.settings(8, new Kind(false, 1), true), 1);
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY),
+        rig.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("a:1", 1, 0, Listing.READY),
                 Rig.endpoint("b:1", 1, 1, Listing.READY));
         String id = rig.submit(1, -1, 1);
         assertEquals("a:1", rig.only(id).endpoint());
@@ -114,17 +116,41 @@
     @Test
     void aFailedSubscriptionIsRenewed() {
         Sender.Settings s = Rig.settings(8, new Kind(false, 1), false);
-        Rig rig = new Rig(new Sender.Settings(s.classes(), s.kinds(), s.tenantRates(), s.slots(), s.mostHeld(),
-                s.maxAttempts(), s.senders(), s.zone(), s.worthHalves(), s.overShareWorth(), s.mayCancel(),
-                s.secondCopies(), true, s.rates(), s.maxRetryAfterNs(), s.drainGraceNs(), s.coldShare(),
-                s.coldNs(), s.fallMultiple(), s.fallNs(), s.keyRestNs(), s.connections(), s.prices()), 1);
+        Rig rig = new Rig(
+                new Sender.Settings(
+                        s.classes(),
+                        s.kinds(),
+                        s.tenantRates(),
+                        s.slots(),
+                        s.mostHeld(),
+                        s.maxAttempts(),
+                        s.senders(),
+                        s.zone(),
+                        s.worthHalves(),
+                        s.overShareWorth(),
+                        s.mayCancel(),
+                        s.secondCopies(),
+                        true,
+                        s.rates(),
+                        s.maxRetryAfterNs(),
+                        s.drainGraceNs(),
+                        s.coldShare(),
+                        s.coldNs(),
+                        s.fallMultiple(),
+                        s.fallNs(),
+                        s.keyRestNs(),
+                        s.connections(),
+                        s.prices()),
+                1);
         rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY));
         assertEquals(1, rig.subscribes);
         rig.brain.endpoints(rig.now, Sender.ListKind.FAILED, java.util.List.of());
         rig.brain.turnEnd(rig.now);
         rig.pass(1 * S);
         assertEquals(2, rig.subscribes);
-        for (int i = 3; i < 12; i++) {   // however long discovery was away: what it has to tell at its return counts as told 6 s after
+        for (int i = 3;
+                i < 12;
+                i++) { // however long discovery was away: what it has to tell at its return counts as told 6 s after
             rig.brain.endpoints(rig.now, Sender.ListKind.FAILED, java.util.List.of());
             rig.brain.turnEnd(rig.now);
             rig.pass(5 * S);
@@ -135,7 +161,9 @@
     @Test
     void routesApartHaveBreakersOfTheirOwn() {
         Rig rig = new Rig(Rig.settings(8, new Kind(true, 1), false), 1);
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY),
+        rig.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("a:1", 1, 0, Listing.READY),
                 Rig.endpoint("b:1", 1, 0, Listing.READY));
         for (int i = 0; i < 40; i++) {
             String id = rig.submit(2, -1, 1);
@@ -153,7 +181,9 @@
     @Test
     void routesApartTogetherKeepTheCapOfTheirDestination() {
         Rig rig = new Rig(Rig.settings(8, new Kind(true, 1), false), 1);
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY),
+        rig.list(
+                Sender.ListKind.CACHED,
+                Rig.endpoint("a:1", 1, 0, Listing.READY),
                 Rig.endpoint("b:1", 1, 0, Listing.READY));
         for (int i = 0; i < 20; i++) {
             rig.submit(0, -1, 1);
@@ -215,14 +245,20 @@
         for (int i = 0; i <= store.settings.mostHeld(); i++) {
             store.submit(0, -1, 1);
         }
-        String refused = store.messages.entrySet().stream().filter(e -> e.getValue().end != null).findFirst()
-                .orElseThrow().getKey();
+        String refused = store.messages.entrySet().stream()
+                .filter(e -> e.getValue().end != null)
+                .findFirst()
+                .orElseThrow()
+                .getKey();
         assertEquals("refused", store.end(refused), "store full");
         assertComeBack(store, refused);
     }
 
     private static void assertComeBack(Rig rig, String id) {
-        String line = rig.trace.stream().filter(l -> l.contains("refuse " + id)).findFirst().orElseThrow();
+        String line = rig.trace.stream()
+                .filter(l -> l.contains("refuse " + id))
+                .findFirst()
+                .orElseThrow();
         assertTrue(Long.parseLong(line.substring(line.lastIndexOf(' ') + 1)) > 0, "no come-back time: " + line);
     }
 }
--- a/src/test/java/elderseam/module/ShedTest.java
+++ b/src/test/java/elderseam/module/ShedTest.java
@@ -13,7 +13,7 @@
     /** What was taken on is kept: whoever comes now is told so at the door, and may go to another dispatcher at once. */
     @Test
     void aNewcomerIsTurnedAwayBeforeWhatWasTakenOn() {
-        Rig r = Rig.simple(1);   // one call at a time: the rest waits
+        Rig r = Rig.simple(1); // one call at a time: the rest waits
         List<String> taken = new ArrayList<>();
         String last = r.submit(0, -1, 1);
         while (r.end(last) == null) {
--- a/src/test/java/elderseam/module/SuccessionTest.java
+++ b/src/test/java/elderseam/module/SuccessionTest.java
@@ -69,7 +69,7 @@
         Rig heir = heir(rig);
         assertEquals(new Sender.Listed(1, 1), heir.brain.listed(heir.now));
         assertFalse(heir.brain.mayCall(heir.now, "none", "a:1"));
-        String next = heir.submit(0, -1, 1);   // the rig asserts that the wait is heeded
+        String next = heir.submit(0, -1, 1); // the rig asserts that the wait is heeded
         heir.pass(4 * Rig.S);
         assertFalse(heir.sent(next));
         heir.pass(8 * Rig.S);
@@ -80,7 +80,7 @@
     void anOpenBreakerStaysOpen() {
         Rig rig = Rig.simple(8);
         for (int i = 0; i < 4; i++) {
-            rig.answer(rig.submit(2, i, 1), Result.ERROR);   // unsafe ones: each fails at once
+            rig.answer(rig.submit(2, i, 1), Result.ERROR); // unsafe ones: each fails at once
         }
         Rig heir = heir(rig);
         String id = heir.submit(0, -1, 1);
@@ -130,7 +130,7 @@
         assertEquals(1, cold);
         assertEquals(19, rig.out().size() - cold);
         rig.out().forEach(a -> rig.answer(a, Result.DELIVERED, 0));
-        rig.pass(10 * Rig.S);   // warm by the settings
+        rig.pass(10 * Rig.S); // warm by the settings
         for (int i = 0; i < 20; i++) {
             rig.submit(0, -1, 1);
         }
--- a/src/test/java/elderseam/platform/MeaningTest.java
+++ b/src/test/java/elderseam/platform/MeaningTest.java
@@ -14,8 +14,8 @@
 /** What an answer of an upstream host means. */
 class MeaningTest {
     private static End end(int code, String header, String value) {
-        return PlatformUpstream.meaning(new Reply(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]),
-                List.of("x0", "x1"));
+        return PlatformUpstream.meaning(
+                new Reply(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
     }
 
     @Test
@@ -27,8 +27,12 @@
         assertEquals(Status.NO_SLOT, end(503, "X-Over-Slots", "1").status());
         assertEquals(Status.SPENT, end(504, "X", "").status());
         assertEquals(Status.OVER, end(410, "X", "").status());
-        assertEquals(List.of(true, false, false), List.of(end(500, "X", "").mayHaveRun(),
-                end(503, "X", "").mayHaveRun(), end(410, "X", "").mayHaveRun()));
+        assertEquals(
+                List.of(true, false, false),
+                List.of(
+                        end(500, "X", "").mayHaveRun(),
+                        end(503, "X", "").mayHaveRun(),
+                        end(410, "X", "").mayHaveRun()));
     }
 
     /** A report is read by its fields' names; nonsense in it counts as untold. */
@@ -36,8 +40,13 @@
     void reports() {
         End told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
         assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
-        for (String nonsense : List.of("TEXT x1=many, x0", "BIN x0=0.4, x1=25", "TEXT x0=0.4, x1=1e300", "TEXT x0=NaN, x1=-3",
-                "TEXT x0=7, x1=25", "\u0000\u00ff=,=,")) {
+        for (String nonsense : List.of(
+                "TEXT x1=many, x0",
+                "BIN x0=0.4, x1=25",
+                "TEXT x0=0.4, x1=1e300",
+                "TEXT x0=NaN, x1=-3",
+                "TEXT x0=7, x1=25",
+                "\u0000\u00ff=,=,")) {
             End odd = end(200, "X-Pressure", nonsense);
             assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
         }
--- a/src/test/java/elderseam/rules/BodiesTest.java
+++ b/src/test/java/elderseam/rules/BodiesTest.java
@@ -13,7 +13,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class BodiesTest {
-    private static final Bodies BODIES = new Bodies(Extent.USUAL, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
+    private static final Bodies BODIES =
+            new Bodies(Extent.USUAL, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
 
     private static List<Object> read(String body) {
         return Arrays.asList(BODIES.read(body.getBytes(StandardCharsets.UTF_8)).clone());
@@ -27,17 +28,33 @@
     @Test
     void fieldsArePicked() {
         assertEquals(Arrays.asList(1L, null, null, null), read("{\"a\": 1}"));
-        assertEquals(Arrays.asList("ä\n", 2.5, Map.of("c", 2.5, "d", List.of(true, Null.NULL)), null), read("{\"z\": [[{}]], \"b\": {\"c\": 2.5, \"d\": [true, null]}, \"a\": \"ä\\n\"}"));
-        assertEquals(Arrays.asList(Null.NULL, null, "text", null), read("{\"a\": null, \"b\": \"text\", \"x\": [{\"y\": 1}]}"));
-        assertEquals(Arrays.asList(9223372036854775807L, null, 9.223372036854775808e18, 1e3), read("{\"a\": 9223372036854775807, \"b\": 9223372036854775808, \"x\": {\"y\": 1e3}}"));
+        assertEquals(
+                Arrays.asList("ä\n", 2.5, Map.of("c", 2.5, "d", List.of(true, Null.NULL)), null),
+                read("{\"z\": [[{}]], \"b\": {\"c\": 2.5, \"d\": [true, null]}, \"a\": \"ä\\n\"}"));
+        assertEquals(
+                Arrays.asList(Null.NULL, null, "text", null),
+                read("{\"a\": null, \"b\": \"text\", \"x\": [{\"y\": 1}]}"));
+        assertEquals(
+                Arrays.asList(9223372036854775807L, null, 9.223372036854775808e18, 1e3),
+                read("{\"a\": 9223372036854775807, \"b\": 9223372036854775808, \"x\": {\"y\": 1e3}}"));
     }
 
     /** Behind the bar: what is said of each field. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"[1]|a body that is no JSON object", "1|a body that is no JSON object", "{\"a\": 1|a body that is no JSON object",
-        "{\"a\": 1} 2|a body that is no JSON object", "{\"a\": 01}|a body that is no JSON object", "{a: 1}|a body that is no JSON object",
-        "{\"a\": 1, \"q\": 2, \"q\": 3}|a body that tells a name twice in one object", "{\"b\": {\"c\": 1, \"c\": 1}}|a body that tells a name twice in one object",
-        "{\"q\": [{\"r\": 1, \"r\": 2}]}|a body that tells a name twice in one object"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "[1]|a body that is no JSON object",
+                "1|a body that is no JSON object",
+                "{\"a\": 1|a body that is no JSON object",
+                "{\"a\": 1} 2|a body that is no JSON object",
+                "{\"a\": 01}|a body that is no JSON object",
+                "{a: 1}|a body that is no JSON object",
+                "{\"a\": 1, \"q\": 2, \"q\": 3}|a body that tells a name twice in one object",
+                "{\"b\": {\"c\": 1, \"c\": 1}}|a body that tells a name twice in one object",
+                "{\"q\": [{\"r\": 1, \"r\": 2}]}|a body that tells a name twice in one object"
+            })
     void whatCannotBeReadIsAnErrorForEachField(String body, String words) {
         assertEquals(all(words), read(body));
     }
@@ -49,9 +66,16 @@
         assertEquals(all("a body nested above body_depth"), read("{\"a\": " + "[".repeat(17) + "]".repeat(17) + "}"));
         assertEquals(all("a body above body_bytes"), read("{\"a\": \"" + "x".repeat(70_000) + "\"}"));
         Err large = new Err("a field above field_chars or list_items");
-        assertEquals(Arrays.asList(large, 7L, Map.of("c", 7L), null), read("{\"a\": \"" + "x".repeat(1_025) + "\", \"b\": {\"c\": 7}}"));
+        assertEquals(
+                Arrays.asList(large, 7L, Map.of("c", 7L), null),
+                read("{\"a\": \"" + "x".repeat(1_025) + "\", \"b\": {\"c\": 7}}"));
         assertEquals(Arrays.asList(large, null, null, null), read("{\"a\": [" + "1,".repeat(40) + "1]}"));
-        assertEquals(Arrays.asList(large, null, null, null), read("{\"a\": [" + "[1,2,3],".repeat(9) + "1]}"), "in all, not list by list");
-        assertEquals(Arrays.asList(1L, large, large, null), read("{\"b\": {\"c\": \"" + "x".repeat(2_000) + "\"}, \"a\": 1}"));
+        assertEquals(
+                Arrays.asList(large, null, null, null),
+                read("{\"a\": [" + "[1,2,3],".repeat(9) + "1]}"),
+                "in all, not list by list");
+        assertEquals(
+                Arrays.asList(1L, large, large, null),
+                read("{\"b\": {\"c\": \"" + "x".repeat(2_000) + "\"}, \"a\": 1}"));
     }
 }
--- a/src/test/java/elderseam/rules/BucketsTest.java
+++ b/src/test/java/elderseam/rules/BucketsTest.java
@@ -26,7 +26,7 @@
         int burst = 1 + r.nextInt(20);
         double rate = 1 + r.nextInt(50);
         Buckets b = new Buckets("l", rate, burst, 10);
-        double level = 0;     // the model: a bucket that leaks
+        double level = 0; // the model: a bucket that leaks
         long now = 0, interval = Math.round(1e9 / rate);
         for (int i = 0; i < 500; i++) {
             long passed = (long) (r.nextDouble() * 2 * interval);
--- a/src/test/java/elderseam/rules/DeciderTest.java
+++ b/src/test/java/elderseam/rules/DeciderTest.java
@@ -56,12 +56,14 @@
 
     @TempDir
     Path folder;
+
     private final State state = new State();
     private final List<String> log = new ArrayList<>();
     private final Decider decider = new Decider(List.of(16 * S, 28 * S, 10 * S), 3 * S, 100, state, log::add);
 
     private Rulebook book(String text) throws IOException {
-        return Loader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), Extent.USUAL, LoaderTest.NAMES).book();
+        return Loader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), Extent.USUAL, LoaderTest.NAMES)
+                .book();
     }
 
     private static Facts facts(String body) {
@@ -69,7 +71,18 @@
     }
 
     private static Stream.Message message(String body, long now) {
-        return new Stream.Message("id", (byte) 0, 0, 0, 5, now + 12 * S, now + 12 * S, false, true, "", body.getBytes(StandardCharsets.UTF_8));
+        return new Stream.Message(
+                "id",
+                (byte) 0,
+                0,
+                0,
+                5,
+                now + 12 * S,
+                now + 12 * S,
+                false,
+                true,
+                "",
+                body.getBytes(StandardCharsets.UTF_8));
     }
 
     private Stream.Message decided(String body, long now) {
@@ -88,8 +101,10 @@
     /** A deadline only shortens, and another class brings its own where that is shorter. */
     @Test
     void deadlinesOnlyShorten() throws IOException {
-        decider.put(book("[table t]\nmatch = all\n[rule a]\nwhen = request.size == 1\ndeadline = duration('5s')\n[rule b]\nwhen = request.size == 1\ndeadline = duration('7s')\n"
-                + "[rule c]\nwhen = request.size == 2\ndeadline = duration('50s')\n[rule d]\nwhen = request.size == 3\nclass = 'rent-payment'\n"));
+        decider.put(
+                book(
+                        "[table t]\nmatch = all\n[rule a]\nwhen = request.size == 1\ndeadline = duration('5s')\n[rule b]\nwhen = request.size == 1\ndeadline = duration('7s')\n"
+                                + "[rule c]\nwhen = request.size == 2\ndeadline = duration('50s')\n[rule d]\nwhen = request.size == 3\nclass = 'rent-payment'\n"));
         assertEquals(5 * S, decided("1", 0).deadline(), "the shortest of both");
         assertEquals(12 * S, decided("22", 0).deadline());
         assertEquals(10 * S, decided("333", 0).deadline());
@@ -99,15 +114,18 @@
     /** All that matches in a table, each with what the tables before made; rules of one table don't see each other. */
     @Test
     void tablesFollowEachOther() throws IOException {
-        decider.put(book("[table t]\nmatch = all\n[rule a]\nclass = 'job-order'\n[rule b]\nwhen = message.class == 'job-order'\ndestination = 1\n"
-                + "[table u]\n[rule c]\nwhen = message.class == 'job-order'\ndestination = message.destination + 2\n[rule d]\ndestination = 99\n"));
+        decider.put(
+                book(
+                        "[table t]\nmatch = all\n[rule a]\nclass = 'job-order'\n[rule b]\nwhen = message.class == 'job-order'\ndestination = 1\n"
+                                + "[table u]\n[rule c]\nwhen = message.class == 'job-order'\ndestination = message.destination + 2\n[rule d]\ndestination = 99\n"));
         assertEquals(7, decided("", 0).destination());
     }
 
     @Test
     void stateIsSeen() throws IOException {
-        decider.put(book("[rule a]\nwhen = state.rate >= 1.0 && state.share == 2.0 && state.in_flight == 5 && state.wait == duration('5s') && state.breaker == 'open'\n"
-                + "destination = 1\n"));
+        decider.put(book(
+                "[rule a]\nwhen = state.rate >= 1.0 && state.share == 2.0 && state.in_flight == 5 && state.wait == duration('5s') && state.breaker == 'open'\n"
+                        + "destination = 1\n"));
         for (int i = 0; i < 59; i++) {
             assertEquals(5, decided("", i * S).destination());
         }
@@ -118,7 +136,9 @@
     /** What is not urgent is refused while much is held: 0 above a tenth, 4 above half; 5 never. */
     @Test
     void prioritiesGiveWay() throws IOException {
-        decider.put(book("[rule a]\nwhen = request.size == 1\npriority = 0\n[rule b]\nwhen = request.size == 2\npriority = 4\n"));
+        decider.put(
+                book(
+                        "[rule a]\nwhen = request.size == 1\npriority = 0\n[rule b]\nwhen = request.size == 2\npriority = 4\n"));
         long[][] waits = {{0, 0, 0}, {S, 0, 0}, {S, S, 0}};
         int[] held = {9, 10, 50};
         for (int i = 0; i < 3; i++) {
@@ -133,8 +153,10 @@
     /** The time to come back is no longer than the settings allow; a refusal charges no limit, nor does one limit what another refuses. */
     @Test
     void refusalsAndLimits() throws IOException {
-        decider.put(book("[limit few]\nrate_per_s = 0.1\nburst = 1\n[limit many]\nrate_per_s = 1000\nburst = 2\n[table t]\nmatch = all\n"
-                + "[rule a]\nwhen = request.size == 1\nrefuse = duration('60s')\n[rule b]\nlimit = few\n[rule c]\nlimit = many\n"));
+        decider.put(
+                book(
+                        "[limit few]\nrate_per_s = 0.1\nburst = 1\n[limit many]\nrate_per_s = 1000\nburst = 2\n[table t]\nmatch = all\n"
+                                + "[rule a]\nwhen = request.size == 1\nrefuse = duration('60s')\n[rule b]\nlimit = few\n[rule c]\nlimit = many\n"));
         decided("1", 0);
         assertEquals(3 * S, decider.admit(0));
         decided("22", 0);
@@ -162,9 +184,16 @@
         assertNotEquals(m.same(), d.message().same());
         decider.put(null);
         assertEquals(2, decider.remembered());
-        assertEquals(2, decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0).also().size());
+        assertEquals(
+                2,
+                decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0)
+                        .also()
+                        .size());
         decider.forget(Set.of(first.scheme().name()));
-        assertEquals(List.of(m.same()), decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0).also());
+        assertEquals(
+                List.of(m.same()),
+                decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0)
+                        .also());
         decider.put(first);
         assertEquals(0, decider.remembered(), "back in place");
     }
--- a/src/test/java/elderseam/rules/RouteTest.java
+++ b/src/test/java/elderseam/rules/RouteTest.java
@@ -14,13 +14,21 @@
     private static final Route.Canary CANARY = new Route.Canary(9, new double[] {1, 10, 100}, 1_000, 500);
 
     private static Route route(String members, Route.Canary canary) {
-        return new Route("r", java.util.Arrays.stream(members.split(" ")).map(m -> m.split("\\*"))
-                .map(m -> new Route.Member(Long.parseLong(m[0]), m.length > 1 ? Double.parseDouble(m[1]) : 1)).toList(),
-                Map.of("north", List.of(1L, 2L)), List.of(7L, 8L), canary, "x-route");
+        return new Route(
+                "r",
+                java.util.Arrays.stream(members.split(" "))
+                        .map(m -> m.split("\\*"))
+                        .map(m -> new Route.Member(Long.parseLong(m[0]), m.length > 1 ? Double.parseDouble(m[1]) : 1))
+                        .toList(),
+                Map.of("north", List.of(1L, 2L)),
+                List.of(7L, 8L),
+                canary,
+                "x-route");
     }
 
     private static long at(Route r, int key, long time, Long... open) {
-        return r.destination("lease/" + key, "", "", time, d -> List.of(open).contains(d) ? Breaker.OPEN : Breaker.CLOSED);
+        return r.destination(
+                "lease/" + key, "", "", time, d -> List.of(open).contains(d) ? Breaker.OPEN : Breaker.CLOSED);
     }
 
     @Test
@@ -61,7 +69,10 @@
                 assertTrue(!had || d == 9, "it keeps what it had");
                 had = d == 9;
                 counts[step] += had ? 1 : 0;
-                assertEquals(at(without, k, 0), d == 9 ? at(r, k, 999 + 500 * step, 9L) : d, "all others stay where they were");
+                assertEquals(
+                        at(without, k, 0),
+                        d == 9 ? at(r, k, 999 + 500 * step, 9L) : d,
+                        "all others stay where they were");
             }
         }
         assertEquals(0, counts[0]);
