--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,11 @@
 run: build
 	exec $$(sed -n 's/^run = "exec \(.*\)"/\1/p' deploy/balancer.toml)
 
-# Times to readiness and silences at a share of a core; WORDS as StartFigures --help tells. Some minutes.
+# Times to readiness and silences at a share of a core; WORDS as StartupMeasurements --help tells. Some minutes.
 figures: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
-	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
-	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipFigures
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartupMeasurements $(WORDS)
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipMeasurements
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.RulesCost
 
--- a/bench/src/elderseam/fleet/EngineMember.java
+++ b/bench/src/elderseam/fleet/EngineMember.java
@@ -1,11 +1,7 @@
 package elderseam.fleet;
 
 import elderseam.fleet.lease.LeaseGroup;
-import elderseam.fleet.lease.LeaseHolder;
-import elderseam.fleet.lease.LeaseKeeper;
-import elderseam.fleet.lease.LeaseMachine;
 import elderseam.fleet.lease.LeaseTable;
-import elderseam.fleet.lease.Tenure;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/bench/src/elderseam/rules/RulesBench.java
+++ b/bench/src/elderseam/rules/RulesBench.java
@@ -1,7 +1,5 @@
 package elderseam.rules;
 
-import elderseam.core.Facts;
-import elderseam.core.Stream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
--- a/bench/src/elderseam/rules/lang/ExpressionBench.java
+++ b/bench/src/elderseam/rules/cel/ExpressionBench.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import dev.cel.common.CelOptions;
 import dev.cel.common.CelValidationException;
@@ -66,7 +66,7 @@
 
     @Setup
     public void set() throws CelValidationException, CelEvaluationException {
-        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope()
+        elderseam.rules.cel.Scope scope = new elderseam.rules.cel.Scope()
                 .name("tenant", Type.Plain.STRING, Size.text(64))
                 .name(
                         "headers",
--- a/bench/src/elderseam/rules/lang/FrontEnds.java
+++ b/bench/src/elderseam/rules/cel/FrontEnds.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import dev.cel.common.types.SimpleType;
 import dev.cel.compiler.CelCompiler;
@@ -48,7 +48,7 @@
     }
 
     private static Object own() {
-        elderseam.rules.lang.Scope scope = new elderseam.rules.lang.Scope()
+        elderseam.rules.cel.Scope scope = new elderseam.rules.cel.Scope()
                 .name("tenant", Type.Plain.STRING, Size.text(64))
                 .name("size", Type.Plain.INT, Size.ONE);
         return Expression.compile(TEXT, scope, Type.Plain.BOOL, 10_000)
--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -1,10 +1,10 @@
 package elderseam;
 
-import elderseam.settings.Keys;
+import elderseam.app.ClassArchiveTraining;
+import elderseam.app.DispatcherServer;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.SettingsFault;
-import elderseam.wiring.Daemon;
-import elderseam.wiring.Rehearsals;
-import elderseam.wiring.Training;
+import elderseam.testkit.TestKitLauncher;
 import java.io.IOException;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -16,22 +16,26 @@
     /** The two lines of the deploy file go straight to their work: the command line's library would cost them a start. */
     public static void main(String[] args) throws Exception {
         if (args.length == 1 && args[0].equals("simhost")) {
-            Rehearsals.simulate();
+            TestKitLauncher.simulate();
         } else if (args.length >= 1
                 && args.length <= 2
                 && args[0].equals("serve")
                 && (args.length == 1 || !args[1].startsWith("-"))) {
-            serve(Path.of(args.length > 1 ? args[1] : Keys.FILE));
+            serve(Path.of(args.length > 1 ? args[1] : SettingKeys.FILE));
         } else {
             System.exit(elderseam.cli.Commands.run(
-                    args, Main::serve, Rehearsals::simulate, Rehearsals::authority, Training::run));
+                    args,
+                    Main::serve,
+                    TestKitLauncher::simulate,
+                    TestKitLauncher::authority,
+                    ClassArchiveTraining::run));
         }
     }
 
     /** A fault of settings or configuration is told in plain words, a line each, and ends the start with 1. */
     static void serve(Path settings) throws IOException {
         try {
-            Daemon.serve(System.getenv(), settings);
+            DispatcherServer.serve(System.getenv(), settings);
         } catch (SettingsFault e) {
             e.faults().forEach(System.err::println);
             System.exit(1);
--- a/src/main/java/elderseam/acme/Bundle.java
+++ b/src/main/java/elderseam/acme/CertificateBundle.java
@@ -18,7 +18,7 @@
 import org.shredzone.acme4j.util.KeyPairUtils;
 
 /** A certificate as one member passes it on to the others: the private key and the chain, each PEM text. */
-record Bundle(
+record CertificateBundle(
         @JsonProperty("key") String key,
         @JsonProperty("chain") String chain) {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -28,8 +28,8 @@
         return JSON.writeValueAsBytes(this);
     }
 
-    static Bundle of(byte[] bytes) throws IOException {
-        return JSON.readValue(bytes, Bundle.class);
+    static CertificateBundle of(byte[] bytes) throws IOException {
+        return JSON.readValue(bytes, CertificateBundle.class);
     }
 
     static List<X509Certificate> chain(byte[] pem) throws GeneralSecurityException {
--- a/src/main/java/elderseam/acme/Certificates.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -1,7 +1,7 @@
 package elderseam.acme;
 
-import elderseam.http.Server.Answerer;
-import elderseam.http.Server.Request;
+import elderseam.http.HttpServer.Answerer;
+import elderseam.http.HttpServer.Request;
 import java.io.IOException;
 import java.io.Reader;
 import java.io.StringWriter;
@@ -44,10 +44,10 @@
  * folder, used again at the next start, and renewed when a third of their time is left. Its work blocks, so it has
  * a thread of its own; what it shares with other threads is the answers to challenges and the context it hands over.
  *
- * <p>With a {@link Sharing} one member of a fleet orders for all. Until that one's certificate comes, the others serve by the
+ * <p>With a {@link SharedCertificateOrder} one member of a fleet orders for all. Until that one's certificate comes, the others serve by the
  * one that they have, or not at all; half of the margin before theirs ends each orders for itself.
  */
-public final class Certificates {
+public final class CertificateManager {
     static {
         Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
@@ -61,7 +61,7 @@
     private final List<String> names;
     private final Path folder;
     private final Consumer<SSLContext> renewed;
-    private final Sharing sharing; // null where each orders for itself
+    private final SharedCertificateOrder sharing; // null where each orders for itself
     private final Instant began = Instant.now();
     private final Map<String, String> challenges = new ConcurrentHashMap<>();
     private volatile Map<String, String> others = Map.of(); // challenges of the member that orders
@@ -76,13 +76,17 @@
     });
 
     /** {@code renewed} is told of the first context and of each later one, on this class's own thread. */
-    public Certificates(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed) {
+    public CertificateManager(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed) {
         this(directory, names, folder, renewed, null);
     }
 
     /** {@code sharing}: with a fleet, or null. */
-    public Certificates(
-            String directory, List<String> names, Path folder, Consumer<SSLContext> renewed, Sharing sharing) {
+    public CertificateManager(
+            String directory,
+            List<String> names,
+            Path folder,
+            Consumer<SSLContext> renewed,
+            SharedCertificateOrder sharing) {
         this.directory = directory;
         this.names = names;
         this.folder = folder;
@@ -169,7 +173,7 @@
         if (bytes == null || Arrays.equals(bytes, passed)) {
             return false;
         }
-        Bundle bundle = Bundle.of(bytes);
+        CertificateBundle bundle = CertificateBundle.of(bytes);
         String fault = bundle.fault(names, Instant.now());
         if (fault != null) {
             throw new IOException("the one that was passed on: " + fault);
@@ -189,8 +193,8 @@
 
     /** The holder's certificate for the others, once, be it one of before the fleet. */
     private void pass() throws IOException {
-        Bundle own =
-                new Bundle(Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
+        CertificateBundle own = new CertificateBundle(
+                Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
         byte[] bytes = own.encoded();
         if (!Arrays.equals(bytes, passed) && sharing.pass(bytes)) {
             passed = bytes;
@@ -265,7 +269,7 @@
         if (!Files.exists(file)) {
             return List.of();
         }
-        return Bundle.chain(Files.readAllBytes(file));
+        return CertificateBundle.chain(Files.readAllBytes(file));
     }
 
     private SSLContext context(List<X509Certificate> chain) throws IOException, GeneralSecurityException {
--- a/src/main/java/elderseam/acme/Seal.java
+++ b/src/main/java/elderseam/acme/SecretSealer.java
@@ -22,14 +22,14 @@
  * counter mode (NIST SP 800-38D), a random nonce of 96 bits before each text, by a key that the operator puts on every member in a
  * file that only its owner may read (32 bytes in base64, as {@code keys seal} writes it).
  */
-public final class Seal {
+public final class SecretSealer {
     private static final int KEY = 32, NONCE = 12, TAG_BITS = 128;
     private static final String OWNER = "rw-------";
 
     private final SecretKeySpec key;
     private final SecureRandom random;
 
-    private Seal(byte[] key, SecureRandom random) {
+    private SecretSealer(byte[] key, SecureRandom random) {
         this.key = new SecretKeySpec(key, "AES");
         this.random = random;
     }
@@ -43,7 +43,7 @@
     }
 
     /** The seal of a key file; what is wrong with the file is told as a fault of the settings. */
-    public static Seal read(Path file, SecureRandom random) throws IOException {
+    public static SecretSealer read(Path file, SecureRandom random) throws IOException {
         try {
             String rights = PosixFilePermissions.toString(Files.getPosixFilePermissions(file));
             if (!rights.endsWith("------")) {
@@ -54,7 +54,7 @@
             if (key.length != KEY) {
                 throw fault(file, key.length + " bytes, allowed: " + KEY + " in base64, as `keys seal` writes them");
             }
-            return new Seal(key, random);
+            return new SecretSealer(key, random);
         } catch (NoSuchFileException e) {
             throw fault(file, "there is no such file");
         } catch (IllegalArgumentException e) {
--- a/src/main/java/elderseam/acme/Sharing.java
+++ b/src/main/java/elderseam/acme/SharedCertificateOrder.java
@@ -3,8 +3,8 @@
 import java.time.Instant;
 import java.util.Map;
 
-/** One order for a whole fleet, as {@link Certificates} needs it: whose turn it is, and how the rest hear. On its thread. */
-public interface Sharing {
+/** One order for a whole fleet, as {@link CertificateManager} needs it: whose turn it is, and how the rest hear. On its thread. */
+public interface SharedCertificateOrder {
     /**
      * Whether this member orders now. {@code dueAt}: since when an order is due; {@code lastAt}: from when on nobody is waited
      * for any more.
--- a/src/main/java/elderseam/wiring/Training.java
+++ b/src/main/java/elderseam/app/ClassArchiveTraining.java
@@ -1,11 +1,11 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Server;
-import elderseam.http.UpstreamHost;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -23,7 +23,7 @@
  * discovery, the place for notices and one upstream host, all on the loopback, it delivers, fails, refuses, waits and
  * drains; it ends by itself.
  */
-public final class Training {
+public final class ClassArchiveTraining {
     private static final int MESSAGES = 120;
     private static final long PATIENCE_NS = 10_000 * Clock.MS;
     private static final String SETTINGS = """
@@ -35,19 +35,19 @@
              "services":[{"name":"say","effect":"repeatable","giveUpNs":2000000000,"targetNs":1000000000,"windowNs":0},
                          {"name":"pay","effect":"once","giveUpNs":2000000000,"targetNs":1000000000,"windowNs":0}]}""";
 
-    private final Io io = new Io(new Clock());
+    private final IoLoop io = new IoLoop(new Clock());
     private final Path folder = Files.createTempDirectory("elderseam-training");
     private String address; // of all the outside
     private int answered;
 
-    private Training() throws IOException {}
+    private ClassArchiveTraining() throws IOException {}
 
     public static void run() throws Exception {
-        new Training().live();
+        new ClassArchiveTraining().live();
     }
 
     private void live() throws Exception {
-        Server partner = new Server(
+        HttpServer partner = new HttpServer(
                 io,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 1 << 20,
@@ -74,13 +74,13 @@
                 "RELAY_CONFIG",
                 config.toString());
         Runtime.getRuntime().addShutdownHook(new Thread(this::clean, "clean"));
-        Daemon.serve(variables, Files.writeString(folder.resolve("elderseam.ini"), "# nothing is told\n"));
-        Connections client = new Connections(io, PATIENCE_NS, 8, 1 << 10);
-        io.at(io.clock.now() + 300 * Clock.MS, () -> send(client, new UpstreamHost("self", listen), 0));
+        DispatcherServer.serve(variables, Files.writeString(folder.resolve("elderseam.ini"), "# nothing is told\n"));
+        EndpointConnectionPool client = new EndpointConnectionPool(io, PATIENCE_NS, 8, 1 << 10);
+        io.at(io.clock.now() + 300 * Clock.MS, () -> send(client, new EndpointAddress("self", listen), 0));
     }
 
     /** One message after the other; then the end. */
-    private void send(Connections client, UpstreamHost to, int n) {
+    private void send(EndpointConnectionPool client, EndpointAddress to, int n) {
         if (n == MESSAGES) {
             io.at(io.clock.now() + 1_500 * Clock.MS, () -> new Thread(() -> System.exit(0), "end").start());
             return;
@@ -88,7 +88,7 @@
         long by = io.clock.now() + 500 * Clock.MS;
         client.send(
                 to,
-                new Call(
+                new HttpRequest(
                         "POST",
                         n % 3 == 0 ? "/pay" : "/say",
                         Map.of(
@@ -109,7 +109,7 @@
     }
 
     /** All the outside there is. */
-    private void partner(Server.Request r, Server.Answerer to) {
+    private void partner(HttpServer.Request r, HttpServer.Answerer to) {
         if (r.path().startsWith("/registry")) {
             io.at(
                     io.clock.now() + 200 * Clock.MS,
--- a/src/main/java/elderseam/wiring/EventsWiring.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -1,51 +1,51 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.acme.Certificates;
-import elderseam.cloudevents.EventConfig;
-import elderseam.cloudevents.EventFront;
-import elderseam.cloudevents.EventUpstream;
+import elderseam.acme.CertificateManager;
+import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
-import elderseam.core.Relay;
-import elderseam.core.Rulings;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Server;
-import elderseam.platform.Config;
-import elderseam.platform.Hosts;
-import elderseam.platform.Limits;
+import elderseam.core.RequestDispatcher;
+import elderseam.frontend.cloudevents.EventAttemptSender;
+import elderseam.frontend.cloudevents.EventConfiguration;
+import elderseam.frontend.cloudevents.EventFrontend;
+import elderseam.frontend.platform.EndpointList;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.frontend.platform.ResourceLimits;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.util.List;
 import javax.net.ssl.SSLContext;
 
 /** Wires the CloudEvents front; where it is off, and owes nothing from an earlier process, this class is not loaded. */
-final class EventsWiring {
+final class CloudEventsSetup {
     private static final int MOST_CLIENTS = 64;
     private static final long HEARD_NS = 1_500 * Clock.MS, LOOK_NS = 50 * Clock.MS;
 
-    private final Io io;
-    private final EventConfig events;
-    private final Limits limits;
-    private final EventFront front;
-    private final List<Server> servers;
-    private final OneOrder order; // null where each orders its certificate
+    private final IoLoop io;
+    private final EventConfiguration events;
+    private final ResourceLimits limits;
+    private final EventFrontend front;
+    private final List<HttpServer> servers;
+    private final LeasedCertificateOrder order; // null where each orders its certificate
 
-    EventsWiring(
-            Io io,
-            Config config,
-            EventConfig events,
-            Relay relay,
-            Connections upstream,
-            Hosts hosts,
-            List<Server> servers,
-            Rulings rulings,
-            OneOrder order) {
+    CloudEventsSetup(
+            IoLoop io,
+            PlatformConfiguration config,
+            EventConfiguration events,
+            RequestDispatcher relay,
+            EndpointConnectionPool upstream,
+            EndpointList hosts,
+            List<HttpServer> servers,
+            AdmissionRules rulings,
+            LeasedCertificateOrder order) {
         this.io = io;
         this.events = events;
         this.limits = config.limits();
         this.servers = servers;
         this.order = order;
-        this.front = new EventFront(io.clock, relay, config.settings(), events, rulings);
-        relay.front(EventFront.NUMBER, front, new EventUpstream(upstream, hosts::host));
+        this.front = new EventFrontend(io.clock, relay, config.settings(), events, rulings);
+        relay.front(EventFrontend.NUMBER, front, new EventAttemptSender(upstream, hosts::host));
     }
 
     /** Connections of clients that this front takes of all. */
@@ -54,7 +54,7 @@
     }
 
     /** From the next event on. */
-    void rulings(Rulings rulings) {
+    void rulings(AdmissionRules rulings) {
         front.rulings(rulings);
     }
 
@@ -66,11 +66,11 @@
         }
     }
 
-    private Server listen(int most, SSLContext context) throws IOException {
-        Server server = new Server(
+    private HttpServer listen(int most, SSLContext context) throws IOException {
+        HttpServer server = new HttpServer(
                 io,
-                Config.address(events.listen()),
-                EventFront.MOST_BODY,
+                PlatformConfiguration.address(events.listen()),
+                EventFrontend.MOST_BODY,
                 most,
                 limits.reading(),
                 context,
@@ -82,8 +82,8 @@
 
     /** The events' listener opens with its first certificate, and gets each later one. */
     private void certify(int most) throws IOException {
-        Server[] secure = new Server[1];
-        Certificates certificates = new Certificates(
+        HttpServer[] secure = new HttpServer[1];
+        CertificateManager certificates = new CertificateManager(
                 events.directory(),
                 events.names(),
                 events.folder(),
@@ -102,9 +102,9 @@
         if (order != null) {
             order.serves(certificates);
         }
-        servers.add(new Server(
+        servers.add(new HttpServer(
                 io,
-                Config.address(events.challenges()),
+                PlatformConfiguration.address(events.challenges()),
                 1 << 10,
                 most,
                 limits.reading(),
@@ -114,7 +114,7 @@
     }
 
     /** The authority may look here before the order of another member has been heard of. */
-    private void challenge(Certificates certificates, Server.Request r, Server.Answerer to, long by) {
+    private void challenge(CertificateManager certificates, HttpServer.Request r, HttpServer.Answerer to, long by) {
         if (order == null || certificates.proves(r.path()) || io.clock.now() >= by) {
             certificates.challenge(r, to);
         } else {
--- a/src/main/java/elderseam/wiring/Daemon.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -1,36 +1,36 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.cloudevents.EventConfig;
-import elderseam.cloudevents.EventFront;
-import elderseam.control.Command;
+import elderseam.control.CommandResult;
 import elderseam.control.ControlServer;
-import elderseam.control.Operators;
-import elderseam.control.Verdict;
+import elderseam.control.OperatorCommand;
+import elderseam.control.OperatorCommands;
 import elderseam.core.Clock;
 import elderseam.core.Handover;
 import elderseam.core.Journal;
-import elderseam.core.Json;
+import elderseam.core.JsonValue;
 import elderseam.core.Lifecycle;
-import elderseam.core.RehearsedClock;
-import elderseam.core.Relay;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Lean;
-import elderseam.http.Server;
-import elderseam.http.UpstreamHost;
-import elderseam.platform.Config;
-import elderseam.platform.Discovery;
-import elderseam.platform.Hosts;
-import elderseam.platform.Limits;
-import elderseam.platform.Passing;
-import elderseam.platform.PlatformFront;
-import elderseam.platform.PlatformUpstream;
-import elderseam.settings.Keys;
+import elderseam.core.RequestDispatcher;
+import elderseam.core.SkewedClock;
+import elderseam.frontend.cloudevents.EventConfiguration;
+import elderseam.frontend.cloudevents.EventFrontend;
+import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.frontend.platform.EndpointList;
+import elderseam.frontend.platform.PlatformAttemptSender;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.frontend.platform.PlatformFrontend;
+import elderseam.frontend.platform.ResourceLimits;
+import elderseam.frontend.platform.SuccessorProxy;
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
+import elderseam.handover.HandoverSender;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
+import elderseam.http.XnioStartup;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
-import elderseam.upgrade.Frame;
-import elderseam.upgrade.Giving;
-import elderseam.upgrade.Link;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -42,7 +42,7 @@
 import java.util.function.Consumer;
 
 /** One dispatcher, in the order of its life: start, recovery, readiness, reload, drain. */
-public final class Daemon implements Succession.Estate {
+public final class DispatcherServer implements OwnershipTransfer.Estate {
     private static final long COMING_NS = 500 * Clock.MS; // clients may still connect after SIGTERM
     private static final long END_NS = 3_300 * Clock.MS; // SIGKILL follows from 3.7 s
     private static final long PARTING_NS = 500 * Clock.MS,
@@ -53,48 +53,49 @@
     private static final long LOOK_NS = 20 * Clock.MS;
     private static final long UNASKED_NS = 10_000 * Clock.MS; // for clients of a process that has passed its work on
 
-    private final Config config;
-    private final Io io;
-    private final Relay relay;
-    private final PlatformFront front;
-    private final Discovery discovery;
-    private final Hosts hosts;
+    private final PlatformConfiguration config;
+    private final IoLoop io;
+    private final RequestDispatcher relay;
+    private final PlatformFrontend front;
+    private final DiscoveryWatcher discovery;
+    private final EndpointList hosts;
     private final Path settingsFile;
     private final Settings settings;
     private final Journal journal;
-    private final Connections upstream;
+    private final EndpointConnectionPool upstream;
     private final ServerSocketChannel inherited; // null: it listens by itself
-    private final Accession.Won won;
-    private final Succession succession;
-    private Passing passing; // null until another process has the work
+    private final OwnershipAcquisition.Won won;
+    private final OwnershipTransfer succession;
+    private SuccessorProxy passing; // null until another process has the work
     private long endsBy; // once it has: when this one ends at the latest
     private final Lifecycle life = new Lifecycle();
     private final ControlServer control; // null where there is none
     private boolean looking; // for connections of clients that stand idle in a drain
-    private final Rereading rereading;
-    private final Neighbours neighbours;
-    private final List<Server> servers = new ArrayList<>();
+    private final LiveConfiguration rereading;
+    private final FleetServices neighbours;
+    private final List<HttpServer> servers = new ArrayList<>();
     private final long born;
 
     /** Starts one, and returns once its threads run; a start that fails ends the process with 1. */
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long started = System.nanoTime();
-        Lean.start();
-        OperatorFile.Read told = OperatorFile.read(settingsFile);
+        XnioStartup.start();
+        OperatorSettings.Read told = OperatorSettings.read(settingsFile);
         Clock clock = clock(told.settings());
         long born = clock.now() - (System.nanoTime() - started);
-        Config config = Config.read(variables);
+        PlatformConfiguration config = PlatformConfiguration.read(variables);
         ServerSocketChannel inherited = inherited(variables);
-        Io io = new Io(clock);
+        IoLoop io = new IoLoop(clock);
         ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
-        Accession.Won won = Accession.seek(io, config);
+        OwnershipAcquisition.Won won = OwnershipAcquisition.seek(io, config);
         Journal journal = new Journal(
                 config.state(),
                 config.limits().diskBytes() - Handover.aside(config.limits().diskBytes()),
                 clock);
         io.run(() -> {
             try {
-                new Daemon(config, told, settingsFile, journal, io, control, inherited, won, born).begin(variables);
+                new DispatcherServer(config, told, settingsFile, journal, io, control, inherited, won, born)
+                        .begin(variables);
             } catch (SettingsFault e) {
                 e.faults().forEach(System.err::println);
                 Runtime.getRuntime().halt(1);
@@ -107,8 +108,8 @@
 
     /** The system's, but for a rehearsal that bends it. */
     private static Clock clock(Settings s) {
-        long percent = s.get(Keys.REHEARSAL_CLOCK_PERCENT), ahead = s.get(Keys.REHEARSAL_CLOCK_AHEAD_MS);
-        return percent == 100 && ahead == 0 ? new Clock() : RehearsedClock.bent(percent / 100.0, ahead);
+        long percent = s.get(SettingKeys.REHEARSAL_CLOCK_PERCENT), ahead = s.get(SettingKeys.REHEARSAL_CLOCK_AHEAD_MS);
+        return percent == 100 && ahead == 0 ? new Clock() : SkewedClock.bent(percent / 100.0, ahead);
     }
 
     /** The listening socket that the platform holds and every process of the dispatcher is given, or null. */
@@ -123,18 +124,18 @@
         return socket;
     }
 
-    private Daemon(
-            Config config,
-            OperatorFile.Read told,
+    private DispatcherServer(
+            PlatformConfiguration config,
+            OperatorSettings.Read told,
             Path settingsFile,
             Journal journal,
-            Io io,
+            IoLoop io,
             ControlServer control,
             ServerSocketChannel inherited,
-            Accession.Won won,
+            OwnershipAcquisition.Won won,
             long born)
             throws IOException {
-        EventConfig events = told.events();
+        EventConfiguration events = told.events();
         this.settings = told.settings();
         this.settingsFile = settingsFile;
         this.config = config;
@@ -143,27 +144,32 @@
         this.control = control;
         this.inherited = inherited;
         this.won = won;
-        this.succession = new Succession(io, won.owner(), this);
+        this.succession = new OwnershipTransfer(io, won.owner(), this);
         this.born = born;
         var module = config.settings().settings();
-        Limits limits = config.limits();
+        ResourceLimits limits = config.limits();
         long idleNs = module.connections().idleNs() * 4 / 5;
-        hosts = new Hosts(config.settings());
-        upstream = new Connections(io, idleNs, limits.upstream(), PlatformFront.MOST_BODY);
-        Connections platform = new Connections(io, idleNs, Limits.PLATFORM, MOST_LIST);
-        relay = new Relay(module, config.seed(), journal, io.clock, io);
+        hosts = new EndpointList(config.settings());
+        upstream = new EndpointConnectionPool(io, idleNs, limits.upstream(), PlatformFrontend.MOST_BODY);
+        EndpointConnectionPool platform = new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MOST_LIST);
+        relay = new RequestDispatcher(module, config.seed(), journal, io.clock, io);
         io.onAway(relay::away);
-        rereading = new Rereading(new Rereading.Ties(io, relay, journal), config, settings, settingsFile);
-        UpstreamHost asked = rereading.discovery(settings);
-        front = new PlatformFront(io, platform, asked, relay, config.settings(), rereading.rules(), life);
-        relay.front(PlatformFront.NUMBER, front, new PlatformUpstream(io, upstream, hosts, config.settings()));
-        discovery = new Discovery(io, platform, asked, hosts, relay);
+        rereading =
+                new LiveConfiguration(new LiveConfiguration.Ties(io, relay, journal), config, settings, settingsFile);
+        EndpointAddress asked = rereading.discovery(settings);
+        front = new PlatformFrontend(io, platform, asked, relay, config.settings(), rereading.rules(), life);
+        relay.front(PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, upstream, hosts, config.settings()));
+        discovery = new DiscoveryWatcher(io, platform, asked, hosts, relay);
         relay.onWatch(discovery::watch);
-        OneOrder order = settings.get(Keys.FLEET_CERTIFICATES).equals("one") ? new OneOrder(settings) : null;
-        EventsWiring second = null;
+        LeasedCertificateOrder order =
+                settings.get(SettingKeys.FLEET_CERTIFICATES).equals("one")
+                        ? new LeasedCertificateOrder(settings)
+                        : null;
+        CloudEventsSetup second = null;
         int eventClients = 0;
-        if (!events.listen().isEmpty() || journal.owes(EventFront.NUMBER)) { // else none of its classes is loaded
-            second = new EventsWiring(io, config, events, relay, upstream, hosts, servers, rereading.rules(), order);
+        if (!events.listen().isEmpty() || journal.owes(EventFrontend.NUMBER)) { // else none of its classes is loaded
+            second =
+                    new CloudEventsSetup(io, config, events, relay, upstream, hosts, servers, rereading.rules(), order);
             eventClients = second.clients();
             servers.add(0, server(eventClients));
             second.listen();
@@ -171,24 +177,24 @@
             servers.add(server(0));
         }
         rereading.of(front, second, discovery);
-        neighbours = new Neighbours(io, config, settings, relay, discovery, hosts, order, rereading::version);
+        neighbours = new FleetServices(io, config, settings, relay, discovery, hosts, order, rereading::version);
         rereading.of(neighbours);
     }
 
-    private Server server(int eventClients) throws IOException {
-        Limits limits = config.limits();
-        return new Server(
+    private HttpServer server(int eventClients) throws IOException {
+        ResourceLimits limits = config.limits();
+        return new HttpServer(
                 io,
                 config.listen(),
                 inherited,
-                PlatformFront.MOST_BODY,
+                PlatformFrontend.MOST_BODY,
                 limits.downstream() - eventClients,
                 limits.reading(),
                 null,
                 this::handle);
     }
 
-    private void handle(Server.Request request, Server.Answerer to) {
+    private void handle(HttpServer.Request request, HttpServer.Answerer to) {
         if (passing == null) {
             front.handle(request, to);
         } else {
@@ -205,7 +211,7 @@
             discovery.known(config.known());
             relay.recover(
                     front::owed,
-                    () -> WarmPath.walk(
+                    () -> StartupWarmup.walk(
                             io,
                             servers.get(0).address(),
                             config.settings().names("services").get(0),
@@ -218,7 +224,7 @@
         }
         System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
         if (control != null) {
-            Operators operators = new Operators(
+            OperatorCommands operators = new OperatorCommands(
                     relay,
                     life,
                     config.settings().names("services"),
@@ -228,12 +234,13 @@
                     neighbours.versions() == null
                             ? null
                             : c -> neighbours.versions().told(c));
-            control.handler(c -> succession.state() == Giving.State.GIVEN && !(c instanceof Command.Info)
-                    ? Verdict.no("this process passes its work on; ask the newer one, or again")
-                    : operators.carryOut(c));
+            control.handler(
+                    c -> succession.state() == HandoverSender.State.GIVEN && !(c instanceof OperatorCommand.Info)
+                            ? CommandResult.no("this process passes its work on; ask the newer one, or again")
+                            : operators.carryOut(c));
             System.err.println("control on " + control.address());
         }
-        Reload.onHangUp(
+        ReloadTrigger.onHangUp(
                 () -> rereading.hangUp(variables),
                 io::run,
                 List.of(Path.of(variables.get("RELAY_CONFIG")), settingsFile));
@@ -242,7 +249,7 @@
 
     /** Whether what is learned outlasts the process. */
     private boolean remembers() {
-        return settings.get(Keys.STATE_LEARNED).equals("kept")
+        return settings.get(SettingKeys.STATE_LEARNED).equals("kept")
                 && Handover.aside(config.limits().diskBytes()) > 0;
     }
 
@@ -256,18 +263,18 @@
     }
 
     /** Begins with what an older process has passed on, whose calls are still out; the code that is needed has run already. */
-    private void takeOver(Frame.Give given) throws IOException {
-        Link link = won.link();
+    private void takeOver(HandoverFrame.Give given) throws IOException {
+        HandoverChannel link = won.link();
         upstream.most(config.limits().upstream() / 2); // descriptors are counted for both processes
-        relay.handover().takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
-        discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
+        relay.handover().takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.id(), o.attempt())));
+        discovery.takenOver(JsonValue.read(given.list().getBytes(StandardCharsets.UTF_8)));
         if (given.drains() && life.drain()) {
             lameDuck();
         }
-        link.send(new Frame.Owned());
+        link.send(new HandoverFrame.Owned());
         link.reading(
                 frame -> {
-                    if (frame instanceof Frame.Ended e) {
+                    if (frame instanceof HandoverFrame.Ended e) {
                         io.run(() -> relay.handover().passed(e.passed()));
                     }
                 },
@@ -281,20 +288,20 @@
     // ---------------------------------------------------------------- passing on, as Succession asks
 
     @Override
-    public Frame.Give give(Consumer<Handover.Passed> told) {
-        servers.forEach(Server::stopAccepting);
-        passing = new Passing(io, servers.get(0).address());
+    public HandoverFrame.Give give(Consumer<Handover.Passed> told) {
+        servers.forEach(HttpServer::stopAccepting);
+        passing = new SuccessorProxy(io, servers.get(0).address());
         discovery.passOn();
         front.passOn(true);
         upstream.closeIdle();
         neighbours.leave();
-        return new Frame.Give(discovery.list(), relay.handover().passOn(told), life.drains());
+        return new HandoverFrame.Give(discovery.list(), relay.handover().passOn(told), life.drains());
     }
 
     @Override
     public void resume(List<Handover.Passed> heard) {
         try {
-            for (Server s : servers) {
+            for (HttpServer s : servers) {
                 s.accept();
             }
             neighbours.join();
@@ -302,7 +309,7 @@
             System.err.println("upgrade: " + e);
             Runtime.getRuntime().halt(1);
         }
-        Passing back = passing;
+        SuccessorProxy back = passing;
         passing = null;
         relay.handover().keep(heard);
         front.passOn(false);
@@ -316,7 +323,7 @@
         servers.forEach(s -> s.closing(true));
         servers.stream()
                 .skip(1)
-                .forEach(Server::closeConnections); // clients of events ask again, with the same identity
+                .forEach(HttpServer::closeConnections); // clients of events ask again, with the same identity
         passing.open();
         endsBy = io.clock.now() + UNASKED_NS;
         io.at(io.clock.now() + COMING_NS, this::left);
@@ -329,7 +336,7 @@
 
     /** Ends once the calls that are out have been told of and no client is connected. */
     private void left() {
-        servers.forEach(Server::closeIdle);
+        servers.forEach(HttpServer::closeIdle);
         boolean done = relay.out() == 0 && passing.quiet() && servers.stream().allMatch(s -> s.open() == 0);
         if (done && succession.flushed() || io.clock.now() > endsBy) {
             System.err.println("left");
@@ -351,7 +358,7 @@
     private void closeKept() {
         looking = life.closing();
         if (looking) {
-            servers.forEach(Server::closeIdle);
+            servers.forEach(HttpServer::closeIdle);
             life.clients(servers.stream().allMatch(s -> s.open() == 0));
             io.at(io.clock.now() + AGAIN_NS, this::closeKept);
         }
@@ -390,7 +397,7 @@
                         start + COMING_NS,
                         () -> io.afterReading(
                                 () -> { // who has come is taken: a closed socket resets them
-                                    servers.forEach(Server::stopAccepting);
+                                    servers.forEach(HttpServer::stopAccepting);
                                     settle(start + END_NS, ended);
                                 }));
             }
@@ -404,14 +411,14 @@
             part(Math.min(io.clock.now() + PARTING_NS, end + PARTED_NS), ended);
             return;
         }
-        servers.forEach(Server::closeIdle);
+        servers.forEach(HttpServer::closeIdle);
         io.at(io.clock.now() + LOOK_NS, () -> settle(end, ended));
     }
 
     /** Clients are parted from: a process that ends over unread bytes resets its connections, and answers on their way with them.
      *  What is read meanwhile is answered yet. */
     private void part(long by, CountDownLatch ended) {
-        servers.forEach(Server::endConnections);
+        servers.forEach(HttpServer::endConnections);
         if (servers.stream().allMatch(s -> s.open() == 0) || io.clock.now() > by) {
             ended.countDown();
             return;
--- a/src/main/java/elderseam/wiring/Neighbours.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -1,14 +1,14 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.control.Command;
-import elderseam.control.Verdict;
-import elderseam.core.Relay;
+import elderseam.control.CommandResult;
+import elderseam.control.OperatorCommand;
+import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
-import elderseam.http.Io;
-import elderseam.platform.Config;
-import elderseam.platform.Discovery;
-import elderseam.platform.Hosts;
-import elderseam.settings.Keys;
+import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.frontend.platform.EndpointList;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.http.IoLoop;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 
@@ -16,29 +16,29 @@
  * All by which a dispatcher knows of the others of its fleet: gossip, shares of what all do, leases. Each is null while it is off, and
  * then none of its classes is loaded. Of the I/O thread.
  */
-final class Neighbours {
-    private final Io io;
-    private final Config config;
+final class FleetServices {
+    private final IoLoop io;
+    private final PlatformConfiguration config;
     private final Settings settings;
-    private final Relay relay;
-    private final Discovery discovery;
-    private final Hosts hosts;
-    private final OneOrder order;
-    private final VersionsWiring.Reader reader;
-    private GossipWiring gossip;
-    private ShareWiring shares;
-    private FleetWiring fleet;
+    private final RequestDispatcher relay;
+    private final DiscoveryWatcher discovery;
+    private final EndpointList hosts;
+    private final LeasedCertificateOrder order;
+    private final VersionService.Reader reader;
+    private GossipService gossip;
+    private PartitionService shares;
+    private LeaseService fleet;
 
     /** {@code order}: where one member orders the certificate for all, else null; {@code reader}: of versions. */
-    Neighbours(
-            Io io,
-            Config config,
+    FleetServices(
+            IoLoop io,
+            PlatformConfiguration config,
             Settings settings,
-            Relay relay,
-            Discovery discovery,
-            Hosts hosts,
-            OneOrder order,
-            VersionsWiring.Reader reader)
+            RequestDispatcher relay,
+            DiscoveryWatcher discovery,
+            EndpointList hosts,
+            LeasedCertificateOrder order,
+            VersionService.Reader reader)
             throws IOException {
         this.io = io;
         this.config = config;
@@ -55,22 +55,22 @@
     void join() throws IOException {
         SettingsMap told = config.settings();
         int count = told.settings().senders();
-        gossip = settings.get(Keys.GOSSIP_LISTEN).equals("off") ? null : new GossipWiring(io, settings, relay);
-        shares = switch (settings.get(Keys.SHARES_MEMBERS)) {
-            case "gossip" -> new ShareWiring(io, settings, relay, hosts, count, gossip);
+        gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off") ? null : new GossipService(io, settings, relay);
+        shares = switch (settings.get(SettingKeys.SHARES_MEMBERS)) {
+            case "gossip" -> new PartitionService(io, settings, relay, hosts, count, gossip);
             case "told" ->
-                new ShareWiring(
-                        io, settings, relay, hosts, count, new ShareWiring.Told((int) told.whole("me", 0), count));
+                new PartitionService(
+                        io, settings, relay, hosts, count, new PartitionService.Told((int) told.whole("me", 0), count));
             default -> null;
         };
-        fleet = settings.get(Keys.FLEET_LISTEN).equals("off")
+        fleet = settings.get(SettingKeys.FLEET_LISTEN).equals("off")
                 ? null
-                : new FleetWiring(
+                : new LeaseService(
                         io,
                         settings,
                         config.state(),
                         config.seed(),
-                        new FleetWiring.Work(relay, discovery, hosts, order, reader));
+                        new LeaseService.Work(relay, discovery, hosts, order, reader));
     }
 
     /** Says good-bye to all: the process ends, or its addresses are another's from now on. */
@@ -97,11 +97,11 @@
     }
 
     /** The versions that the fleet agrees on, or null. */
-    VersionsWiring versions() {
+    VersionService versions() {
         return fleet == null ? null : fleet.versions();
     }
 
-    Verdict told(Command.Fleet command) {
+    CommandResult told(OperatorCommand.Fleet command) {
         return fleet.told(command);
     }
 }
--- a/src/main/java/elderseam/wiring/FleetWiring.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -1,22 +1,22 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.control.Command;
-import elderseam.control.Verdict;
+import elderseam.control.CommandResult;
+import elderseam.control.OperatorCommand;
 import elderseam.core.Clock;
-import elderseam.core.Relay;
-import elderseam.fleet.History;
+import elderseam.core.RequestDispatcher;
 import elderseam.fleet.lease.LeaseGroup;
-import elderseam.fleet.lease.LeaseHolder;
-import elderseam.fleet.lease.LeaseKeeper;
-import elderseam.fleet.lease.LeaseMachine;
+import elderseam.fleet.lease.LeaseRenewer;
+import elderseam.fleet.lease.LeaseRequestSchedule;
+import elderseam.fleet.lease.LeaseStateMachine;
 import elderseam.fleet.lease.LeaseTable;
-import elderseam.fleet.lease.Tenure;
-import elderseam.fleet.rig.Acts;
-import elderseam.http.Io;
-import elderseam.platform.Config;
-import elderseam.platform.Discovery;
-import elderseam.platform.Hosts;
-import elderseam.settings.Keys;
+import elderseam.fleet.lease.LeaseValidity;
+import elderseam.fleet.selftest.FaultTestHistory;
+import elderseam.fleet.selftest.LeaseWorkload;
+import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.frontend.platform.EndpointList;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.http.IoLoop;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -33,49 +33,57 @@
  * Wires the fleet's leases; where they are off this class is not loaded. All of it runs on threads of its own, so that
  * neither the engine's start nor its waiting touches the I/O thread: messages are served while the group has no majority.
  */
-final class FleetWiring {
+final class LeaseService {
     private static final long AGAIN_MS = 250; // another process may have the address and the folder yet
 
     private static final long LEAVING_MS = 1_000; // of the 3.3 s that a drain has
     private static final long LOOK_NS = 250 * Clock.MS;
 
-    private final Io io;
+    private final IoLoop io;
     private final Clock clock;
-    private final OneWatch watch; // each null where it is off; both of the I/O thread
-    private final OneTrial trials;
-    private final OneOrder order;
-    private final VersionsWiring versions;
+    private final LeasedDiscoveryWatch watch; // each null where it is off; both of the I/O thread
+    private final LeasedRecoveryProbe trials;
+    private final LeasedCertificateOrder order;
+    private final VersionService versions;
     private final Settings settings;
     private final Path folder;
     private final long seed;
-    private final History history; // null but in rehearsals
+    private final FaultTestHistory history; // null but in rehearsals
     private volatile LeaseGroup group;
-    private volatile LeaseHolder holder;
+    private volatile LeaseRenewer holder;
     private volatile String leader = "";
     private volatile boolean left;
 
     /** What the tasks act on: the relay's breakers, the watch of discovery, the hosts that it lists, orders or null, and who reads versions. */
-    record Work(Relay relay, Discovery discovery, Hosts hosts, OneOrder order, VersionsWiring.Reader reader) {}
+    record Work(
+            RequestDispatcher relay,
+            DiscoveryWatcher discovery,
+            EndpointList hosts,
+            LeasedCertificateOrder order,
+            VersionService.Reader reader) {}
 
-    FleetWiring(Io io, Settings settings, Path state, long seed, Work work) throws IOException {
+    LeaseService(IoLoop io, Settings settings, Path state, long seed, Work work) throws IOException {
         this.io = io;
         this.clock = io.clock;
         this.settings = settings;
         this.seed = seed;
-        String told = settings.get(Keys.FLEET_FOLDER), record = settings.get(Keys.REHEARSAL_HISTORY);
+        String told = settings.get(SettingKeys.FLEET_FOLDER), record = settings.get(SettingKeys.REHEARSAL_HISTORY);
         this.folder = told.isEmpty() ? state.resolve("fleet") : Path.of(told);
-        this.history = record.isEmpty() ? null : new History(Path.of(record), settings.get(Keys.FLEET_NAME));
-        this.watch =
-                settings.get(Keys.FLEET_DISCOVERY).equals("one") ? new OneWatch(clock, work.discovery(), this) : null;
-        this.trials = settings.get(Keys.FLEET_TRIALS).equals("one")
-                ? new OneTrial(clock, work.relay(), work.hosts(), this, 2 * settings.get(Keys.FLEET_TTL_MS) * Clock.MS)
+        this.history =
+                record.isEmpty() ? null : new FaultTestHistory(Path.of(record), settings.get(SettingKeys.FLEET_NAME));
+        this.watch = settings.get(SettingKeys.FLEET_DISCOVERY).equals("one")
+                ? new LeasedDiscoveryWatch(clock, work.discovery(), this)
+                : null;
+        this.trials = settings.get(SettingKeys.FLEET_TRIALS).equals("one")
+                ? new LeasedRecoveryProbe(
+                        clock, work.relay(), work.hosts(), this, 2 * settings.get(SettingKeys.FLEET_TTL_MS) * Clock.MS)
                 : null;
         this.order = work.order();
         if (order != null) {
             order.joins(this);
         }
-        this.versions = settings.get(Keys.FLEET_VERSIONS_BOUND_MS) > 0
-                ? new VersionsWiring(io, settings, state, work.reader(), history)
+        this.versions = settings.get(SettingKeys.FLEET_VERSIONS_BOUND_MS) > 0
+                ? new VersionService(io, settings, state, work.reader(), history)
                 : null;
         if (watch != null || trials != null) {
             io.at(clock.now() + LOOK_NS, this::look);
@@ -86,9 +94,9 @@
     }
 
     private List<String> leases() {
-        List<String> all = new ArrayList<>(settings.get(Keys.FLEET_LEASES));
-        if (watch != null && !all.contains(OneWatch.LEASE)) {
-            all.add(OneWatch.LEASE);
+        List<String> all = new ArrayList<>(settings.get(SettingKeys.FLEET_LEASES));
+        if (watch != null && !all.contains(LeasedDiscoveryWatch.LEASE)) {
+            all.add(LeasedDiscoveryWatch.LEASE);
         }
         if (order != null) {
             all.add(order.lease());
@@ -112,8 +120,8 @@
     // ---------------------------------------------------------------- for the tasks, on any thread
 
     /** The tenure by which this member may act on a lease now, or null. */
-    Tenure tenure(String lease) {
-        Tenure t = holder == null ? null : holder.tenure(lease);
+    LeaseValidity tenure(String lease) {
+        LeaseValidity t = holder == null ? null : holder.tenure(lease);
         return t != null && t.mayAct(clock.now(), clock.now()) ? t : null;
     }
 
@@ -128,7 +136,7 @@
         }
     }
 
-    CompletableFuture<LeaseTable.Outcome> publish(String lease, Tenure by, String value) {
+    CompletableFuture<LeaseTable.Outcome> publish(String lease, LeaseValidity by, String value) {
         return group.publish(lease, by.token(), value);
     }
 
@@ -150,18 +158,19 @@
 
     private void begin() throws IOException {
         Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
-        settings.get(Keys.FLEET_MEMBERS)
-                .forEach(m ->
-                        peers.put(m.substring(0, m.indexOf('=')), Config.address(m.substring(m.indexOf('=') + 1))));
+        settings.get(SettingKeys.FLEET_MEMBERS)
+                .forEach(m -> peers.put(
+                        m.substring(0, m.indexOf('=')),
+                        PlatformConfiguration.address(m.substring(m.indexOf('=') + 1))));
         String life = Long.toString(clock.wallMs(), 36) + "-"
                 + ProcessHandle.current().pid();
         LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(
-                settings.get(Keys.FLEET_GROUP),
-                settings.get(Keys.FLEET_NAME),
-                Config.address(settings.get(Keys.FLEET_LISTEN)),
+                settings.get(SettingKeys.FLEET_GROUP),
+                settings.get(SettingKeys.FLEET_NAME),
+                PlatformConfiguration.address(settings.get(SettingKeys.FLEET_LISTEN)),
                 peers,
                 folder,
-                settings.get(Keys.FLEET_ELECTION_MS),
+                settings.get(SettingKeys.FLEET_ELECTION_MS),
                 life,
                 clock::now,
                 new Learnt(),
@@ -171,29 +180,29 @@
             begun.close();
             return;
         }
-        Tenure.Bounds bounds = new Tenure.Bounds(settings.get(Keys.FLEET_DRIFT_PERCENT) / 100.0);
+        LeaseValidity.Bounds bounds = new LeaseValidity.Bounds(settings.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
         SplittableRandom random =
-                new SplittableRandom(seed ^ settings.get(Keys.FLEET_NAME).hashCode());
-        holder = new LeaseHolder(
-                begun, leases(), settings.get(Keys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
+                new SplittableRandom(seed ^ settings.get(SettingKeys.FLEET_NAME).hashCode());
+        holder = new LeaseRenewer(
+                begun, leases(), settings.get(SettingKeys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
         if (versions != null) {
             versions.joins(begun);
         }
-        System.err.println("fleet: " + begun.holder() + " on " + settings.get(Keys.FLEET_LISTEN));
-        if (!settings.get(Keys.REHEARSAL_STORE).equals("off")) {
-            new Acts(
-                    Config.address(settings.get(Keys.REHEARSAL_STORE)),
+        System.err.println("fleet: " + begun.holder() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
+        if (!settings.get(SettingKeys.REHEARSAL_STORE).equals("off")) {
+            new LeaseWorkload(
+                    PlatformConfiguration.address(settings.get(SettingKeys.REHEARSAL_STORE)),
                     begun.holder(),
-                    settings.get(Keys.FLEET_LEASES),
+                    settings.get(SettingKeys.FLEET_LEASES),
                     holder::tenure,
-                    settings.get(Keys.REHEARSAL_ACT_MS) * Clock.MS,
+                    settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MS,
                     clock::now,
                     history);
         }
     }
 
     /** What the whole group learns, on the engine's threads. */
-    private final class Learnt implements LeaseMachine.Watch {
+    private final class Learnt implements LeaseStateMachine.Watch {
         @Override
         public void led(String by) {
             leader = by;
@@ -209,7 +218,7 @@
 
         @Override
         public void freed(String lease) {
-            LeaseHolder h = holder;
+            LeaseRenewer h = holder;
             if (h != null) {
                 h.freed(lease);
             }
@@ -222,7 +231,7 @@
                 return;
             }
             io.run(() -> {
-                if (watch != null && lease.equals(OneWatch.LEASE)) {
+                if (watch != null && lease.equals(LeasedDiscoveryWatch.LEASE)) {
                     watch.heard(value);
                 } else if (trials != null) {
                     trials.heard(lease);
@@ -232,9 +241,9 @@
     }
 
     /** The holder's requests, for the history of a rehearsal. */
-    private final class Told implements LeaseHolder.Events {
+    private final class Told implements LeaseRenewer.Events {
         @Override
-        public void asked(String lease, LeaseKeeper.Ask ask, long token) {
+        public void asked(String lease, LeaseRequestSchedule.Ask ask, long token) {
             if (history != null) {
                 history.add("invoke", "op", ask.wireName(), "lease", lease, "token", token, "holder", group.holder());
             }
@@ -248,7 +257,7 @@
         }
 
         @Override
-        public void answered(String lease, LeaseTable.Outcome outcome, Tenure tenure) {
+        public void answered(String lease, LeaseTable.Outcome outcome, LeaseValidity tenure) {
             if (history == null) {
                 return;
             }
@@ -266,7 +275,7 @@
                         "token",
                         outcome.token());
             } else { // until when it will believe to hold, as the machine's clock will show that instant
-                double rate = settings.get(Keys.REHEARSAL_CLOCK_PERCENT) / 100.0;
+                double rate = settings.get(SettingKeys.REHEARSAL_CLOCK_PERCENT) / 100.0;
                 long at = System.nanoTime();
                 history.at(
                         at,
@@ -284,28 +293,28 @@
     }
 
     /** The versions that the fleet agrees on, or null. */
-    VersionsWiring versions() {
+    VersionService versions() {
         return versions;
     }
 
     /** What an operator is answered. */
-    Verdict told(Command.Fleet command) {
+    CommandResult told(OperatorCommand.Fleet command) {
         LeaseGroup now = group;
         if (now == null || holder == null) {
-            return Verdict.no("the fleet's engine starts yet");
+            return CommandResult.no("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
             now.members(command.members())
                     .whenComplete((done, e) -> System.err.println("fleet: members "
                             + String.join(" ", command.members().keySet())
                             + (e == null ? " agreed" : ": not agreed: " + e.getMessage())));
-            return Verdict.yes("asked; FLEET tells when it is so");
+            return CommandResult.yes("asked; FLEET tells when it is so");
         }
         try {
             List<String> lines = new ArrayList<>(
                     List.of("self=" + now.holder(), "leader=" + leader, "members=" + String.join(" ", now.members())));
             for (String lease : leases()) {
-                Tenure t = holder.tenure(lease);
+                LeaseValidity t = holder.tenure(lease);
                 boolean holds = t != null && t.mayAct(clock.now(), clock.now());
                 lines.add("lease." + lease + "="
                         + (holds
@@ -313,9 +322,9 @@
                                 : "not held"));
             }
             lines.add("EOF");
-            return new Verdict(true, "fleet", lines);
+            return new CommandResult(true, "fleet", lines);
         } catch (IOException e) {
-            return Verdict.no("the fleet's engine: " + e.getMessage());
+            return CommandResult.no("the fleet's engine: " + e.getMessage());
         }
     }
 
--- a/src/main/java/elderseam/wiring/OneOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -1,14 +1,14 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.acme.Certificates;
-import elderseam.acme.Seal;
-import elderseam.acme.Sharing;
+import elderseam.acme.CertificateManager;
+import elderseam.acme.SecretSealer;
+import elderseam.acme.SharedCertificateOrder;
+import elderseam.fleet.lease.CertificateOrderTask;
 import elderseam.fleet.lease.LeaseTable;
-import elderseam.fleet.lease.OrderDuty;
-import elderseam.fleet.lease.Tenure;
-import elderseam.settings.Keys;
+import elderseam.fleet.lease.LeaseValidity;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -23,7 +23,7 @@
  * One member orders the certificate for all, by a lease of its first name; the group's log passes on the answers to the
  * authority's looks, and the certificate with its key, sealed. Asked on the certificates' thread, and told on any.
  */
-final class OneOrder implements Sharing {
+final class LeasedCertificateOrder implements SharedCertificateOrder {
     private static final String LEASE = "certificate:";
     private static final long PASS_S = 10, LEAST_PATIENCE_MS = 30_000; // a group that starts has no leader yet
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -34,38 +34,38 @@
             @JsonProperty("answers") Map<String, String> answers) {}
 
     private final String lease;
-    private final Seal seal;
-    private final OrderDuty duty;
-    private volatile FleetWiring fleet; // null until it is there
-    private volatile Certificates certificates;
+    private final SecretSealer seal;
+    private final CertificateOrderTask duty;
+    private volatile LeaseService fleet; // null until it is there
+    private volatile CertificateManager certificates;
     private volatile Passed newest = new Passed("", Map.of());
 
-    OneOrder(Settings s) throws IOException {
-        this.lease = LEASE + s.get(Keys.ACME_NAMES).get(0);
-        this.seal = Seal.read(Path.of(s.get(Keys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
-        this.duty = new OrderDuty(Math.max(LEAST_PATIENCE_MS, 4 * s.get(Keys.FLEET_TTL_MS)));
+    LeasedCertificateOrder(Settings s) throws IOException {
+        this.lease = LEASE + s.get(SettingKeys.ACME_NAMES).get(0);
+        this.seal = SecretSealer.read(Path.of(s.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
+        this.duty = new CertificateOrderTask(Math.max(LEAST_PATIENCE_MS, 4 * s.get(SettingKeys.FLEET_TTL_MS)));
     }
 
     String lease() {
         return lease;
     }
 
-    void serves(Certificates certificates) {
+    void serves(CertificateManager certificates) {
         this.certificates = certificates;
     }
 
-    void joins(FleetWiring fleet) {
+    void joins(LeaseService fleet) {
         this.fleet = fleet;
     }
 
-    private Tenure tenure() {
-        FleetWiring f = fleet;
+    private LeaseValidity tenure() {
+        LeaseService f = fleet;
         return f == null ? null : f.tenure(lease);
     }
 
     @Override
     public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
-        FleetWiring f = fleet;
+        LeaseService f = fleet;
         boolean mine =
                 duty.own(now.toEpochMilli(), lastAt.toEpochMilli(), tenure() != null, f != null && f.another(lease));
         if (mine) {
@@ -87,7 +87,7 @@
 
     /** Whether the group took it from this member as the holder. */
     private boolean publish(Passed passed) {
-        Tenure t = tenure();
+        LeaseValidity t = tenure();
         if (t == null) {
             return false;
         }
@@ -110,7 +110,7 @@
             Passed passed = JSON.readValue(value, Passed.class);
             boolean fresh = !passed.sealed().isEmpty() && !passed.sealed().equals(newest.sealed());
             newest = passed;
-            Certificates c = certificates;
+            CertificateManager c = certificates;
             if (c != null) {
                 c.heard(passed.answers(), fresh ? seal.open(passed.sealed(), lease) : null);
             }
--- a/src/main/java/elderseam/wiring/OneWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -1,26 +1,26 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
-import elderseam.core.Json;
-import elderseam.fleet.lease.Duty;
+import elderseam.core.JsonValue;
 import elderseam.fleet.lease.LeaseTable;
-import elderseam.fleet.lease.Tenure;
-import elderseam.platform.Discovery;
+import elderseam.fleet.lease.LeaseValidity;
+import elderseam.fleet.lease.LeasedTask;
+import elderseam.frontend.platform.DiscoveryWatcher;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
 /** One member watches discovery for all, by the lease {@link #LEASE}; of the I/O thread. */
-final class OneWatch {
+final class LeasedDiscoveryWatch {
     static final String LEASE = "discovery";
 
     private final Clock clock;
-    private final Discovery discovery;
-    private final FleetWiring fleet;
-    private final Duty duty = new Duty(2 * Discovery.longestNs());
+    private final DiscoveryWatcher discovery;
+    private final LeaseService fleet;
+    private final LeasedTask duty = new LeasedTask(2 * DiscoveryWatcher.longestNs());
     private boolean watches = true;
-    private Json latest; // published by whoever watches
+    private JsonValue latest; // published by whoever watches
 
-    OneWatch(Clock clock, Discovery discovery, FleetWiring fleet) {
+    LeasedDiscoveryWatch(Clock clock, DiscoveryWatcher discovery, LeaseService fleet) {
         this.clock = clock;
         this.discovery = discovery;
         this.fleet = fleet;
@@ -29,7 +29,7 @@
 
     /** Discovery has answered: the holder passes on what it knows. A list too long to pass on leaves each member to its own watch. */
     private void pass() {
-        Tenure t = fleet.tenure(LEASE);
+        LeaseValidity t = fleet.tenure(LEASE);
         String list = t == null ? "" : discovery.list();
         if (t != null && list.length() <= LeaseTable.MOST_VALUE) {
             fleet.publish(LEASE, t, list);
@@ -38,7 +38,7 @@
 
     void heard(String list) {
         try {
-            latest = Json.read(list.getBytes(StandardCharsets.UTF_8));
+            latest = JsonValue.read(list.getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
             System.err.println("fleet: a list that can't be read: " + e.getMessage());
             return;
--- a/src/main/java/elderseam/wiring/Rereading.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -1,15 +1,16 @@
-package elderseam.wiring;
+package elderseam.app;
 
+import elderseam.core.AdmissionRules;
 import elderseam.core.Journal;
-import elderseam.core.Relay;
-import elderseam.core.Rulings;
+import elderseam.core.RequestDispatcher;
 import elderseam.fleet.config.VersionContent;
-import elderseam.http.Io;
-import elderseam.http.UpstreamHost;
-import elderseam.platform.Config;
-import elderseam.platform.Discovery;
-import elderseam.platform.PlatformFront;
-import elderseam.settings.Keys;
+import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.frontend.platform.PlatformFrontend;
+import elderseam.http.EndpointAddress;
+import elderseam.http.IoLoop;
+import elderseam.rules.RuleLoader;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -20,73 +21,73 @@
  * What can change while a dispatcher runs, by SIGHUP or by a version that the fleet agrees on: discovery's place, the rules, gossip's
  * roster. It is read whole before any of it counts, on whatever thread; what it gives is run on the I/O thread.
  */
-final class Rereading {
+final class LiveConfiguration {
     /** The operator's rules: none of their classes is loaded while they are off. */
-    interface Rules extends Rulings {
+    interface Rules extends AdmissionRules {
         Runnable reload(Settings fresh) throws IOException;
     }
 
     /** What the rules act on. */
-    record Ties(Io io, Relay relay, Journal journal) {}
+    record Ties(IoLoop io, RequestDispatcher relay, Journal journal) {}
 
     private final Ties ties;
-    private final Config config;
+    private final PlatformConfiguration config;
     private final Settings settings;
     private final Path file;
-    private Config moved; // as SIGHUP read it last
+    private PlatformConfiguration moved; // as SIGHUP read it last
     private volatile Rules rules; // null while there are none
-    private PlatformFront front;
-    private EventsWiring second; // null while it is off
-    private Discovery discovery;
-    private Neighbours neighbours; // null while they are made
+    private PlatformFrontend front;
+    private CloudEventsSetup second; // null while it is off
+    private DiscoveryWatcher discovery;
+    private FleetServices neighbours; // null while they are made
 
     /** {@code settings}: those of the start, from {@code file}. */
-    Rereading(Ties ties, Config config, Settings settings, Path file) throws IOException {
+    LiveConfiguration(Ties ties, PlatformConfiguration config, Settings settings, Path file) throws IOException {
         this.ties = ties;
         this.config = config;
         this.settings = settings;
         this.file = file;
         this.moved = config;
-        boolean ruled = !settings.get(Keys.RULES_FILES).isEmpty()
+        boolean ruled = !settings.get(SettingKeys.RULES_FILES).isEmpty()
                 || !ties.journal.schemes().isEmpty();
-        rules = ruled ? rules(RulesWiring.load(config.settings(), settings)) : null;
+        rules = ruled ? rules(RulesSetup.load(config.settings(), settings)) : null;
     }
 
-    private Rules rules(elderseam.rules.Loader.Loaded loaded) throws IOException {
-        return new RulesWiring(ties.io, config.settings(), loaded, ties.relay, ties.journal);
+    private Rules rules(RuleLoader.Loaded loaded) throws IOException {
+        return new RulesSetup(ties.io, config.settings(), loaded, ties.relay, ties.journal);
     }
 
     /** The rules of the start, or null. */
-    Rulings rules() {
+    AdmissionRules rules() {
         return rules;
     }
 
     /** Whom it changes; {@code second} may be null. Before the neighbours are made: they may begin with a version. */
-    void of(PlatformFront front, EventsWiring second, Discovery discovery) {
+    void of(PlatformFrontend front, CloudEventsSetup second, DiscoveryWatcher discovery) {
         this.front = front;
         this.second = second;
         this.discovery = discovery;
     }
 
-    void of(Neighbours neighbours) {
+    void of(FleetServices neighbours) {
         this.neighbours = neighbours;
         guard();
     }
 
     /** Where discovery is by these settings, or by the platform's word. */
-    UpstreamHost discovery(Settings told) {
-        String agreed = told.get(Keys.DISCOVERY_ADDRESS);
-        return new UpstreamHost("discovery", agreed.isEmpty() ? moved.discovery() : agreed);
+    EndpointAddress discovery(Settings told) {
+        String agreed = told.get(SettingKeys.DISCOVERY_ADDRESS);
+        return new EndpointAddress("discovery", agreed.isEmpty() ? moved.discovery() : agreed);
     }
 
     /** By SIGHUP; a version that the fleet agrees on outranks the own files. */
     Runnable hangUp(Map<String, String> variables) throws IOException {
-        Config fresh = Config.read(variables);
-        VersionsWiring versions = neighbours.versions();
+        PlatformConfiguration fresh = PlatformConfiguration.read(variables);
+        VersionService versions = neighbours.versions();
         boolean agreed = versions != null && versions.acting().number() > 0;
-        Settings told = OperatorFile.settings(file), counts = agreed ? merged(versions.texts()) : told;
+        Settings told = OperatorSettings.settings(file), counts = agreed ? merged(versions.texts()) : told;
         Runnable rest = neighbours.reload(told), ruling = agreed ? () -> {} : ruling(told);
-        List<String> later = settings.changed(told, Keys.ALL, false);
+        List<String> later = settings.changed(told, SettingKeys.ALL, false);
         return () -> {
             moved = fresh;
             move(counts);
@@ -100,7 +101,7 @@
 
     /** By a version, whose texts lie there as files, or by the own settings (null). */
     Runnable version(Path texts) throws IOException {
-        Settings told = texts == null ? OperatorFile.settings(file) : merged(texts);
+        Settings told = texts == null ? OperatorSettings.settings(file) : merged(texts);
         Runnable ruling = ruling(told);
         return () -> {
             move(told);
@@ -109,7 +110,7 @@
     }
 
     private Settings merged(Path texts) throws IOException {
-        return Settings.read(VersionContent.merged(file, texts), Keys.ALL, Keys.CONTRADICTIONS);
+        return Settings.read(VersionContent.merged(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
     private void move(Settings told) {
@@ -119,13 +120,13 @@
 
     /** Before the rules, where there are versions: whether they may be acted on. */
     private void guard() {
-        VersionsWiring versions = neighbours == null ? null : neighbours.versions();
+        VersionService versions = neighbours == null ? null : neighbours.versions();
         if (versions != null) {
             rulings(versions.guard(rules, ties.relay::knows));
         }
     }
 
-    private void rulings(Rulings by) {
+    private void rulings(AdmissionRules by) {
         front.rulings(by);
         if (second != null) {
             second.rulings(by);
@@ -137,10 +138,10 @@
         if (rules != null) {
             return rules.reload(told);
         }
-        if (told.get(Keys.RULES_FILES).isEmpty()) {
+        if (told.get(SettingKeys.RULES_FILES).isEmpty()) {
             return () -> {};
         }
-        var loaded = RulesWiring.load(config.settings(), told);
+        var loaded = RulesSetup.load(config.settings(), told);
         return () -> {
             try {
                 rules = rules(loaded);
--- a/src/main/java/elderseam/wiring/Accession.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -1,41 +1,41 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
-import elderseam.http.Io;
-import elderseam.platform.Config;
-import elderseam.upgrade.Frame;
-import elderseam.upgrade.Link;
-import elderseam.upgrade.Owner;
-import elderseam.upgrade.Taking;
+import elderseam.frontend.platform.PlatformConfiguration;
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
+import elderseam.handover.HandoverReceiver;
+import elderseam.handover.OwnershipLock;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
 /** How a process comes to own the folder: at once, or from an older process that still serves. On the starting thread, which may wait. */
-final class Accession {
+final class OwnershipAcquisition {
     /** The folder is this process's; {@code link} and {@code given}: from an older one, else null. */
-    record Won(Owner owner, Link link, Frame.Give given) {}
+    record Won(OwnershipLock owner, HandoverChannel link, HandoverFrame.Give given) {}
 
     private static final long PATIENCE_NS = 10_000 * Clock.MS; // with an owner that neither ends nor answers
     private static final long LOCK_NS = 500 * Clock.MS; // the older one let go before it told
     private static final long AGAIN_MS = 20;
 
-    private final Io io;
-    private final Config config;
+    private final IoLoop io;
+    private final PlatformConfiguration config;
     private final Path folder;
-    private final Owner owner;
-    private final Taking taking = new Taking();
+    private final OwnershipLock owner;
+    private final HandoverReceiver taking = new HandoverReceiver();
 
-    private Accession(Io io, Config config) throws IOException {
+    private OwnershipAcquisition(IoLoop io, PlatformConfiguration config) throws IOException {
         this.io = io;
         this.config = config;
         this.folder = config.state();
-        this.owner = new Owner(folder);
+        this.owner = new OwnershipLock(folder);
     }
 
-    static Won seek(Io io, Config config) throws IOException {
+    static Won seek(IoLoop io, PlatformConfiguration config) throws IOException {
         try {
-            return new Accession(io, config).seek();
+            return new OwnershipAcquisition(io, config).seek();
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start", e);
         }
@@ -43,7 +43,7 @@
 
     private Won seek() throws IOException, InterruptedException {
         for (long last = io.clock.now() + PATIENCE_NS; io.clock.now() < last; ) {
-            Link link = Link.possible(folder) ? Link.connect(folder) : null;
+            HandoverChannel link = HandoverChannel.possible(folder) ? HandoverChannel.connect(folder) : null;
             switch (taking.looked(link != null, link == null && owner.take())) {
                 case RECOVER -> {
                     return new Won(owner, null, null);
@@ -62,16 +62,16 @@
     }
 
     /** Null where the older process has gone or kept its work. */
-    private Won beside(Link link) throws IOException, InterruptedException {
+    private Won beside(HandoverChannel link) throws IOException, InterruptedException {
         System.err.println("another process serves; warming up beside it");
         CountDownLatch warm = new CountDownLatch(1);
-        io.run(() -> Standby.warm(io, config, warm::countDown));
+        io.run(() -> StandbyWarmup.warm(io, config, warm::countDown));
         warm.await();
-        if (taking.warm() == Taking.Step.ASK) {
-            link.send(new Frame.Take());
+        if (taking.warm() == HandoverReceiver.Step.ASK) {
+            link.send(new HandoverFrame.Take());
         }
-        Frame frame = link.await();
-        if (!(frame instanceof Frame.Give given)) {
+        HandoverFrame frame = link.await();
+        if (!(frame instanceof HandoverFrame.Give given)) {
             link.close();
             taking.lost();
             return null;
@@ -80,7 +80,7 @@
         for (long last = io.clock.now() + LOCK_NS; !locked && io.clock.now() < last; locked = owner.take()) {
             Thread.sleep(1);
         }
-        if (taking.given(locked) != Taking.Step.TAKE) {
+        if (taking.given(locked) != HandoverReceiver.Step.TAKE) {
             link.close(); // so the older one has its work back
             return null;
         }
--- a/src/main/java/elderseam/wiring/Succession.java
+++ b/src/main/java/elderseam/app/OwnershipTransfer.java
@@ -1,12 +1,12 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
 import elderseam.core.Handover;
-import elderseam.http.Io;
-import elderseam.upgrade.Frame;
-import elderseam.upgrade.Giving;
-import elderseam.upgrade.Link;
-import elderseam.upgrade.Owner;
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
+import elderseam.handover.HandoverSender;
+import elderseam.handover.OwnershipLock;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
@@ -14,12 +14,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Passes the work of an owner on to a newer process that asks for it, as {@link Giving} decides; on the I/O thread. */
-final class Succession {
+/** Passes the work of an owner on to a newer process that asks for it, as {@link HandoverSender} decides; on the I/O thread. */
+final class OwnershipTransfer {
     /** What the daemon does at each step. */
     interface Estate {
         /** Stops deciding, accepting, watching and telling; the calls that are out go on, and are told. */
-        Frame.Give give(Consumer<Handover.Passed> told);
+        HandoverFrame.Give give(Consumer<Handover.Passed> told);
 
         /** Takes all of that back. */
         void resume(List<Handover.Passed> heard);
@@ -33,15 +33,15 @@
 
     private static final long AGAIN_NS = 20 * Clock.MS, REGAIN_NS = 300 * Clock.MS;
 
-    private final Io io;
-    private final Owner owner;
+    private final IoLoop io;
+    private final OwnershipLock owner;
     private final Estate estate;
-    private final Giving giving = new Giving();
+    private final HandoverSender giving = new HandoverSender();
     private final List<Handover.Passed> heard = new ArrayList<>(); // since it was given; as many as calls were out
-    private Link link;
+    private HandoverChannel link;
     private ServerSocketChannel links;
 
-    Succession(Io io, Owner owner, Estate estate) {
+    OwnershipTransfer(IoLoop io, OwnershipLock owner, Estate estate) {
         this.io = io;
         this.owner = owner;
         this.estate = estate;
@@ -49,18 +49,19 @@
 
     /** Newer processes may ask from now on. */
     void listen(Path folder) {
-        if (!Link.possible(folder)) {
+        if (!HandoverChannel.possible(folder)) {
             System.err.println("no upgrade under load: the path of " + folder + " is too long for a socket");
             return;
         }
         try {
-            links = Link.listen(folder, l -> l.read(f -> io.run(() -> came(l, f)), () -> io.run(() -> lost(l))));
+            links = HandoverChannel.listen(
+                    folder, l -> l.read(f -> io.run(() -> came(l, f)), () -> io.run(() -> lost(l))));
         } catch (IOException e) {
             System.err.println("no upgrade under load: " + e);
         }
     }
 
-    Giving.State state() {
+    HandoverSender.State state() {
         return giving.state();
     }
 
@@ -69,11 +70,13 @@
         return link == null || link.flushed();
     }
 
-    private void came(Link from, Frame frame) {
-        if (frame instanceof Frame.Take && giving.asked() == Giving.Step.GIVE) {
+    private void came(HandoverChannel from, HandoverFrame frame) {
+        if (frame instanceof HandoverFrame.Take && giving.asked() == HandoverSender.Step.GIVE) {
             link = from;
             give();
-        } else if (from == link && frame instanceof Frame.Owned && giving.owned() == Giving.Step.LEAVE) {
+        } else if (from == link
+                && frame instanceof HandoverFrame.Owned
+                && giving.owned() == HandoverSender.Step.LEAVE) {
             System.err.println("passed on");
             heard.clear();
             try {
@@ -82,18 +85,18 @@
                 System.err.println("upgrade: " + e);
             }
             estate.leave();
-        } else if (from == link && frame instanceof Frame.Abandon a) {
+        } else if (from == link && frame instanceof HandoverFrame.Abandon a) {
             estate.abandon(a.id(), a.attempt());
         }
     }
 
     private void give() {
         System.err.println("passing on");
-        Frame.Give all = estate.give(passed -> {
-            if (giving.state() == Giving.State.GIVEN) {
+        HandoverFrame.Give all = estate.give(passed -> {
+            if (giving.state() == HandoverSender.State.GIVEN) {
                 heard.add(passed);
             }
-            link.send(new Frame.Ended(passed));
+            link.send(new HandoverFrame.Ended(passed));
         });
         try {
             owner.release();
@@ -103,7 +106,7 @@
         link.send(all);
     }
 
-    private void lost(Link which) {
+    private void lost(HandoverChannel which) {
         if (which != link) {
             return;
         }
--- a/src/main/java/elderseam/wiring/ShareWiring.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -1,15 +1,15 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
-import elderseam.core.Relay;
-import elderseam.fleet.share.FleetSize;
-import elderseam.fleet.share.Subsets;
-import elderseam.fleet.share.TurnDuty;
-import elderseam.gossip.Claim;
-import elderseam.http.Io;
-import elderseam.module.Sender;
-import elderseam.platform.Hosts;
-import elderseam.settings.Keys;
+import elderseam.core.RequestDispatcher;
+import elderseam.fleet.partition.EndpointSubsetting;
+import elderseam.fleet.partition.FleetSizeEstimator;
+import elderseam.fleet.partition.TurnTakingTask;
+import elderseam.frontend.platform.EndpointList;
+import elderseam.gossip.HealthReport;
+import elderseam.http.IoLoop;
+import elderseam.policy.Sender;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,7 +21,7 @@
  * Tells the module what its part is of what the whole fleet does, by the members that there are; of the I/O thread. Where shares
  * are off this class is not loaded.
  */
-final class ShareWiring {
+final class PartitionService {
     /** The members as one source has them; each list is this one's own to keep. */
     interface Members {
         /** This one's name, as it stands among {@link #present}. */
@@ -31,7 +31,7 @@
         List<String> present();
 
         /** What others say of a destination that counts yet. */
-        List<Claim> claims(long destination);
+        List<HealthReport> claims(long destination);
     }
 
     /** So many members that the platform told of, and which of them this one is; they say nothing. */
@@ -53,37 +53,37 @@
         }
 
         @Override
-        public List<Claim> claims(long destination) {
+        public List<HealthReport> claims(long destination) {
             return List.of();
         }
     }
 
     private static final long LOOK_NS = 250 * Clock.MS, DEFER_NS = 500 * Clock.MS, IDLE_NS = 2_000 * Clock.MS;
 
-    private final Io io;
-    private final Relay relay;
-    private final Hosts hosts;
+    private final IoLoop io;
+    private final RequestDispatcher relay;
+    private final EndpointList hosts;
     private final Members members;
-    private final FleetSize size;
+    private final FleetSizeEstimator size;
     private final int connections, each;
     private final double retries;
     private final boolean turns;
-    private final Map<Long, TurnDuty> duties = new HashMap<>();
+    private final Map<Long, TurnTakingTask> duties = new HashMap<>();
     private Set<String> preferred = Set.of(), known = Set.of();
     private List<String> names = List.of();
     private int sharers;
     private boolean left;
 
-    ShareWiring(Io io, Settings s, Relay relay, Hosts hosts, int told, Members members) {
+    PartitionService(IoLoop io, Settings s, RequestDispatcher relay, EndpointList hosts, int told, Members members) {
         this.io = io;
         this.relay = relay;
         this.hosts = hosts;
         this.members = members;
-        this.size = new FleetSize(told, s.get(Keys.SHARES_HOLD_S) * 1_000 * Clock.MS);
-        this.connections = s.get(Keys.SHARES_CONNECTIONS).intValue();
-        this.each = s.get(Keys.SHARES_EACH).intValue();
-        this.retries = s.get(Keys.SHARES_RETRIES) / 100.0;
-        this.turns = s.get(Keys.SHARES_TRIALS).equals("one");
+        this.size = new FleetSizeEstimator(told, s.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MS);
+        this.connections = s.get(SettingKeys.SHARES_CONNECTIONS).intValue();
+        this.each = s.get(SettingKeys.SHARES_EACH).intValue();
+        this.retries = s.get(SettingKeys.SHARES_RETRIES) / 100.0;
+        this.turns = s.get(SettingKeys.SHARES_TRIALS).equals("one");
         look();
     }
 
@@ -108,7 +108,7 @@
             sharers = now;
             names = present;
             known = ids;
-            preferred = Subsets.preferred(members.self(), names, listed, connections, each);
+            preferred = EndpointSubsetting.preferred(members.self(), names, listed, connections, each);
             relay.part(
                     sharers,
                     e -> preferred.contains(e) || !known.contains(e),
@@ -121,35 +121,36 @@
     }
 
     private void turn(long destination, Sender.Breaker breaker) {
-        TurnDuty.Standing own = standing(breaker.standing());
-        TurnDuty duty = own == TurnDuty.Standing.CLOSED
+        TurnTakingTask.Standing own = standing(breaker.standing());
+        TurnTakingTask duty = own == TurnTakingTask.Standing.CLOSED
                 ? duties.remove(destination)
-                : duties.computeIfAbsent(destination, d -> new TurnDuty(Long.toString(d), members.self(), IDLE_NS));
-        if (duty == null || own == TurnDuty.Standing.CLOSED) {
+                : duties.computeIfAbsent(
+                        destination, d -> new TurnTakingTask(Long.toString(d), members.self(), IDLE_NS));
+        if (duty == null || own == TurnTakingTask.Standing.CLOSED) {
             return;
         }
-        List<TurnDuty.Other> others = members.claims(destination).stream()
+        List<TurnTakingTask.Other> others = members.claims(destination).stream()
                 .filter(c -> !c.reporter().equals(members.self()))
-                .map(c -> new TurnDuty.Other(c.reporter(), standing(c.state())))
+                .map(c -> new TurnTakingTask.Other(c.reporter(), standing(c.state())))
                 .toList();
         if (duty.defers(io.clock.now(), own, others)) {
             relay.defer(hosts.of(destination), DEFER_NS);
         }
     }
 
-    private static TurnDuty.Standing standing(Sender.Standing own) {
+    private static TurnTakingTask.Standing standing(Sender.Standing own) {
         return switch (own) {
-            case CLOSED -> TurnDuty.Standing.CLOSED;
-            case HALF_OPEN -> TurnDuty.Standing.HALF_OPEN;
-            case OPEN -> TurnDuty.Standing.OPEN;
+            case CLOSED -> TurnTakingTask.Standing.CLOSED;
+            case HALF_OPEN -> TurnTakingTask.Standing.HALF_OPEN;
+            case OPEN -> TurnTakingTask.Standing.OPEN;
         };
     }
 
-    private static TurnDuty.Standing standing(Claim.State said) {
+    private static TurnTakingTask.Standing standing(HealthReport.State said) {
         return switch (said) {
-            case CLOSED -> TurnDuty.Standing.CLOSED;
-            case HALF_OPEN -> TurnDuty.Standing.HALF_OPEN;
-            case OPEN -> TurnDuty.Standing.OPEN;
+            case CLOSED -> TurnTakingTask.Standing.CLOSED;
+            case HALF_OPEN -> TurnTakingTask.Standing.HALF_OPEN;
+            case OPEN -> TurnTakingTask.Standing.OPEN;
         };
     }
 }
--- a/src/main/java/elderseam/wiring/Reload.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -1,4 +1,4 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
 import java.io.IOException;
@@ -19,7 +19,7 @@
  * some supervisors), the JVM leaves it so whatever handler it is given, and no signal ever comes: then the files are looked at
  * instead, and a change of one counts as the signal.
  */
-final class Reload {
+final class ReloadTrigger {
     /** Reads all that there is to read, or fails: what applies it, whole, on the thread that owns things. */
     interface Reading {
         Runnable read() throws IOException;
@@ -28,7 +28,7 @@
     private static final int MOST_FAULTS = 20;
     private static final long LOOK_NS = 500 * Clock.MS;
 
-    private Reload() {}
+    private ReloadTrigger() {}
 
     /** {@code use} is given what applies each reading that could be made; {@code files} are those that a reading reads. */
     static void onHangUp(Reading reading, Consumer<Runnable> use, List<Path> files) {
--- a/src/main/java/elderseam/wiring/RulesWiring.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -1,21 +1,21 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.core.Answer;
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
-import elderseam.core.Facts;
+import elderseam.core.FinalOutcome;
 import elderseam.core.Journal;
-import elderseam.core.Relay;
+import elderseam.core.RequestAttributes;
+import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.http.Io;
-import elderseam.module.Sender;
-import elderseam.rules.Decider;
-import elderseam.rules.Extent;
-import elderseam.rules.Loader;
-import elderseam.rules.Names;
-import elderseam.rules.Scheme;
-import elderseam.rules.Surroundings;
-import elderseam.settings.Keys;
+import elderseam.http.IoLoop;
+import elderseam.policy.Sender;
+import elderseam.rules.IdempotencyKeyScheme;
+import elderseam.rules.KnownNames;
+import elderseam.rules.RuleEngine;
+import elderseam.rules.RuleEnvironment;
+import elderseam.rules.RuleLimits;
+import elderseam.rules.RuleLoader;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -25,53 +25,56 @@
 import java.util.Map;
 
 /** Wires the operator's rules to relay and journal; where there are none, and no key of earlier ones is remembered, not loaded. */
-final class RulesWiring implements Rereading.Rules, Surroundings {
+final class RulesSetup implements LiveConfiguration.Rules, RuleEnvironment {
     private static final long FRESH_NS = 50 * Clock.MS, PRUNE_NS = 60_000 * Clock.MS;
 
-    private final Io io;
-    private final Relay relay;
+    private final IoLoop io;
+    private final RequestDispatcher relay;
     private final Journal journal;
     private final SettingsMap settings;
     private final Sender.Settings module;
-    private final Decider decider;
+    private final RuleEngine decider;
     private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
     private long breakersAt = Long.MIN_VALUE / 2;
     private volatile int earlier;
-    private volatile Scheme current; // read by the signal's thread
+    private volatile IdempotencyKeyScheme current; // read by the signal's thread
 
     /** Reads, checks and tests the rules, on any thread; null where no files are named. */
-    static Loader.Loaded load(SettingsMap settings, Settings operator) throws IOException {
-        List<Path> files = operator.get(Keys.RULES_FILES).stream().map(Path::of).toList();
+    static RuleLoader.Loaded load(SettingsMap settings, Settings operator) throws IOException {
+        List<Path> files =
+                operator.get(SettingKeys.RULES_FILES).stream().map(Path::of).toList();
         if (files.isEmpty()) {
             return null;
         }
-        Loader.Loaded loaded = Loader.load(files, Extent.of(operator), names(settings));
+        RuleLoader.Loaded loaded = RuleLoader.load(files, RuleLimits.of(operator), names(settings));
         loaded.warnings().forEach(System.err::println);
         return loaded;
     }
 
-    private static Names names(SettingsMap settings) {
-        return Names.of(settings.names("services"), settings.names("orgs"));
+    private static KnownNames names(SettingsMap settings) {
+        return KnownNames.of(settings.names("services"), settings.names("orgs"));
     }
 
     /** {@code loaded}: what {@link #load} gave, or null. */
-    RulesWiring(Io io, SettingsMap settings, Loader.Loaded loaded, Relay relay, Journal journal) throws IOException {
+    RulesSetup(IoLoop io, SettingsMap settings, RuleLoader.Loaded loaded, RequestDispatcher relay, Journal journal)
+            throws IOException {
         this.settings = settings;
         this.io = io;
         this.relay = relay;
         this.journal = journal;
-        Names names = names(settings);
+        KnownNames names = names(settings);
         this.module = settings.settings();
-        this.decider = new Decider(
+        this.decider = new RuleEngine(
                 module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(),
                 module.maxRetryAfterNs(),
                 module.mostHeld(),
                 this,
                 words -> System.err.println(words));
         for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
-            Scheme scheme = new Scheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
+            IdempotencyKeyScheme scheme =
+                    new IdempotencyKeyScheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
             if (loaded == null || !scheme.equals(loaded.book().scheme())) {
-                decider.remember(scheme, Loader.scheme(scheme, names));
+                decider.remember(scheme, RuleLoader.scheme(scheme, names));
             }
         }
         if (!put(loaded)) {
@@ -82,8 +85,8 @@
     }
 
     /** Between two requests, whole; what its keys stand on is journalled before any of them counts. */
-    private boolean put(Loader.Loaded loaded) {
-        Scheme scheme = loaded == null ? null : loaded.book().scheme();
+    private boolean put(RuleLoader.Loaded loaded) {
+        IdempotencyKeyScheme scheme = loaded == null ? null : loaded.book().scheme();
         if (scheme != null && !journal.scheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8))) {
             return false;
         }
@@ -110,11 +113,11 @@
 
     @Override
     public Runnable reload(Settings fresh) throws IOException {
-        Loader.Loaded loaded = load(settings, fresh);
-        Scheme next = loaded == null ? null : loaded.book().scheme();
-        if (earlier >= Decider.MOST_REMEMBERED && current != null && !current.equals(next)) {
+        RuleLoader.Loaded loaded = load(settings, fresh);
+        IdempotencyKeyScheme next = loaded == null ? null : loaded.book().scheme();
+        if (earlier >= RuleEngine.MOST_REMEMBERED && current != null && !current.equals(next)) {
             throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: "
-                    + Decider.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
+                    + RuleEngine.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
         }
         return () -> {
             System.err.println("rules: " + decider.counts());
@@ -126,12 +129,12 @@
     }
 
     @Override
-    public Ruled rule(Stream.Message m, Facts facts) {
+    public Ruled rule(ActiveRequest.Message m, RequestAttributes facts) {
         long now = io.clock.now();
-        if (m.destination() == Relay.NOWHERE) { // the warm path's
+        if (m.destination() == RequestDispatcher.NOWHERE) { // the warm path's
             return new Ruled(m, List.of(), null, "");
         }
-        Decider.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
+        RuleEngine.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
         if (!d.fault().isEmpty()) {
             return new Ruled(m, List.of(), null, d.fault());
         }
@@ -139,7 +142,7 @@
                 || (!d.message().same().isEmpty() || !d.also().isEmpty())
                         && relay.knows(d.message().same(), d.also());
         long wait = known ? 0 : decider.admit(now);
-        return new Ruled(d.message(), d.also(), wait > 0 ? Answer.refused(wait) : null, "");
+        return new Ruled(d.message(), d.also(), wait > 0 ? FinalOutcome.refused(wait) : null, "");
     }
 
     // ---------------------------------------------------------------- how the dispatcher stands
--- a/src/main/java/elderseam/wiring/VersionsWiring.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -1,22 +1,22 @@
-package elderseam.wiring;
+package elderseam.app;
 
-import elderseam.control.Command;
-import elderseam.control.Verdict;
-import elderseam.core.Answer;
+import elderseam.control.CommandResult;
+import elderseam.control.OperatorCommand;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
-import elderseam.core.Facts;
-import elderseam.core.Rulings;
-import elderseam.core.Stream;
-import elderseam.fleet.History;
-import elderseam.fleet.config.Version;
+import elderseam.core.FinalOutcome;
+import elderseam.core.RequestAttributes;
+import elderseam.fleet.config.ConfigurationVersion;
+import elderseam.fleet.config.VersionActivation;
 import elderseam.fleet.config.VersionContent;
-import elderseam.fleet.config.VersionFolder;
-import elderseam.fleet.config.VersionRule;
+import elderseam.fleet.config.VersionStore;
 import elderseam.fleet.config.VersionTable;
 import elderseam.fleet.lease.LeaseGroup;
-import elderseam.fleet.lease.LeaseMachine;
-import elderseam.http.Io;
-import elderseam.settings.Keys;
+import elderseam.fleet.lease.LeaseStateMachine;
+import elderseam.fleet.selftest.FaultTestHistory;
+import elderseam.http.IoLoop;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -31,9 +31,9 @@
 /**
  * Versions that the fleet agrees on, carried out: a thread of its own confirms, checks what is proposed and keeps what is committed;
  * the I/O thread switches at the instant of effect, and while this member is in doubt takes nothing on that the rules may say otherwise
- * of. What decides is {@link VersionRule}; each message asks it, so a process that was stalled is in doubt the moment it goes on.
+ * of. What decides is {@link VersionActivation}; each message asks it, so a process that was stalled is in doubt the moment it goes on.
  */
-final class VersionsWiring {
+final class VersionService {
     /**
      * Reads a version whole: what makes it act, on the I/O thread; an IOException tells what is wrong with it here. {@code texts}: where
      * its texts lie as files, or null for the member's own settings.
@@ -44,13 +44,13 @@
 
     private static final long LOOK_NS = 20 * Clock.MS;
 
-    private final Io io;
+    private final IoLoop io;
     private final Clock clock;
     private final Settings settings;
-    private final VersionFolder folder;
+    private final VersionStore folder;
     private final Reader reader;
-    private final History history; // null but in rehearsals
-    private final VersionRule rule; // under its own lock: the I/O thread asks it, the confirming thread tells it
+    private final FaultTestHistory history; // null but in rehearsals
+    private final VersionActivation rule; // under its own lock: the I/O thread asks it, the confirming thread tells it
     private final boolean refuses, sure, atOnce;
     private final long boundMs, leadMs;
     private volatile LeaseGroup group;
@@ -61,20 +61,20 @@
     private Thread thread;
     private long looked, kept; // the highest number whose proposal was checked here, and that is in the folder
 
-    VersionsWiring(Io io, Settings s, Path state, Reader reader, History history) throws IOException {
+    VersionService(IoLoop io, Settings s, Path state, Reader reader, FaultTestHistory history) throws IOException {
         this.io = io;
         this.clock = io.clock;
         this.settings = s;
         this.reader = reader;
         this.history = history;
-        this.folder = new VersionFolder(state.resolve("versions"));
-        this.boundMs = s.get(Keys.FLEET_VERSIONS_BOUND_MS);
-        this.leadMs = Math.max(boundMs, s.get(Keys.FLEET_VERSIONS_LEAD_MS));
-        this.refuses = s.get(Keys.FLEET_VERSIONS_DOUBT).equals("refuse");
-        this.sure = s.get(Keys.REHEARSAL_VERSIONS).equals("no-confirm");
-        this.atOnce = s.get(Keys.REHEARSAL_VERSIONS).equals("at-commit");
-        Version last = folder.acting();
-        this.rule = new VersionRule(last, boundMs, s.get(Keys.FLEET_DRIFT_PERCENT) / 100.0);
+        this.folder = new VersionStore(state.resolve("versions"));
+        this.boundMs = s.get(SettingKeys.FLEET_VERSIONS_BOUND_MS);
+        this.leadMs = Math.max(boundMs, s.get(SettingKeys.FLEET_VERSIONS_LEAD_MS));
+        this.refuses = s.get(SettingKeys.FLEET_VERSIONS_DOUBT).equals("refuse");
+        this.sure = s.get(SettingKeys.REHEARSAL_VERSIONS).equals("no-confirm");
+        this.atOnce = s.get(SettingKeys.REHEARSAL_VERSIONS).equals("at-commit");
+        ConfigurationVersion last = folder.acting();
+        this.rule = new VersionActivation(last, boundMs, s.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
         if (last.number() > 0) {
             read(last).run();
         }
@@ -83,7 +83,7 @@
         look();
     }
 
-    static String words(Version v) {
+    static String words(ConfigurationVersion v) {
         return "version " + v.number() + " " + v.hash().substring(0, 12);
     }
 
@@ -97,7 +97,7 @@
     }
 
     /** What it acts on, or acted on last. */
-    Version acting() {
+    ConfigurationVersion acting() {
         synchronized (rule) {
             return rule.acting();
         }
@@ -112,23 +112,23 @@
      * The rules with the doubt before them: new work is refused, with a time to come back, where they may say otherwise by now; what is
      * {@code known} already, by its id, goes to the answer that it has or waits for.
      */
-    Rulings guard(Rulings rules, Predicate<String> known) {
+    AdmissionRules guard(AdmissionRules rules, Predicate<String> known) {
         return new Guard(rules, known);
     }
 
-    private final class Guard implements Rulings {
-        private final Rulings rules; // null while there are none
+    private final class Guard implements AdmissionRules {
+        private final AdmissionRules rules; // null while there are none
         private final Predicate<String> known;
 
-        Guard(Rulings rules, Predicate<String> known) {
+        Guard(AdmissionRules rules, Predicate<String> known) {
             this.rules = rules;
             this.known = known;
         }
 
         @Override
-        public Ruled rule(Stream.Message message, Facts facts) {
+        public Ruled rule(ActiveRequest.Message message, RequestAttributes facts) {
             if (refuses && acting().number() > 0 && inDoubt() && !known.test(message.id())) {
-                return new Ruled(message, List.of(), Answer.refused(boundMs * Clock.MS), "");
+                return new Ruled(message, List.of(), FinalOutcome.refused(boundMs * Clock.MS), "");
             }
             boolean told = message.cls() >= 0 && message.destination() >= 0;
             return rules != null
@@ -162,12 +162,12 @@
         io.at(Math.min(clock.now() + LOOK_NS, Math.max(next, clock.now() + Clock.MS)), this::look);
     }
 
-    private Runnable read(Version v) throws IOException {
+    private Runnable read(ConfigurationVersion v) throws IOException {
         return reader.read(v.texts().isEmpty() ? null : folder.texts(v));
     }
 
     private void act() {
-        Version v = acting();
+        ConfigurationVersion v = acting();
         try {
             read(v).run();
             folder.acting(v);
@@ -189,7 +189,7 @@
         synchronized (rule) {
             until = now + boundMs * Clock.MS - rule.ageNs(now);
         }
-        double rate = settings.get(Keys.REHEARSAL_CLOCK_PERCENT) / 100.0;
+        double rate = settings.get(SettingKeys.REHEARSAL_CLOCK_PERCENT) / 100.0;
         long at = System.nanoTime();
         boolean doubted = !sure && (!fault.isEmpty() || inDoubt());
         history.at(
@@ -236,24 +236,24 @@
         long sent = clock.now();
         VersionTable.Outcome o;
         try {
-            o = group.versions(VersionTable.Command.confirm(settings.get(Keys.FLEET_NAME)))
+            o = group.versions(VersionTable.Command.confirm(settings.get(SettingKeys.FLEET_NAME)))
                     .get();
         } catch (ExecutionException e) {
             return; // no majority, or no link: what it was sure of runs out
         }
-        LeaseMachine.Versions here = group.versions();
+        LeaseStateMachine.Versions here = group.versions();
         if (here.latest().number() != kept) {
             folder.keep(here.all());
             kept = here.latest().number();
         }
         synchronized (rule) {
-            Version known = here.latest();
+            ConfigurationVersion known = here.latest();
             rule.confirmed(
                     sent,
                     clock.now(),
                     o,
                     atOnce
-                            ? new Version(
+                            ? new ConfigurationVersion(
                                     known.number(),
                                     known.parent(),
                                     known.author(),
@@ -268,7 +268,7 @@
 
     /** What is proposed, read whole as if it were to act; nothing of it counts yet. */
     private void check() throws InterruptedException, IOException {
-        Version v = group.versions().pending();
+        ConfigurationVersion v = group.versions().pending();
         if (v == null || v.number() <= looked) {
             return;
         }
@@ -279,7 +279,7 @@
             found = String.valueOf(e.getMessage()).lines().findFirst().orElse(e.toString());
         }
         try {
-            group.versions(VersionTable.Command.checked(settings.get(Keys.FLEET_NAME), v.number(), found))
+            group.versions(VersionTable.Command.checked(settings.get(SettingKeys.FLEET_NAME), v.number(), found))
                     .get();
             looked = v.number();
         } catch (ExecutionException e) {
@@ -294,51 +294,51 @@
 
     // ---------------------------------------------------------------- what operators ask
 
-    Verdict told(Command.Config c) {
+    CommandResult told(OperatorCommand.Config c) {
         LeaseGroup g = group;
         if (g == null) {
-            return Verdict.no("the fleet's engine starts yet");
+            return CommandResult.no("the fleet's engine starts yet");
         }
-        LeaseMachine.Versions here = g.versions();
+        LeaseStateMachine.Versions here = g.versions();
         return switch (c.verb()) {
-            case STATUS -> new Verdict(true, "config", status(here));
+            case STATUS -> new CommandResult(true, "config", status(here));
             case DIFF -> diff(here, c.a(), c.b());
             case PROPOSE -> propose(g, c);
             case ROLLBACK -> rollback(g, here, c);
         };
     }
 
-    private Verdict rollback(LeaseGroup g, LeaseMachine.Versions here, Command.Config c) {
-        Version back = find(here, c.a());
+    private CommandResult rollback(LeaseGroup g, LeaseStateMachine.Versions here, OperatorCommand.Config c) {
+        ConfigurationVersion back = find(here, c.a());
         if (back == null) {
-            return Verdict.no("version " + c.a() + " is not kept");
+            return CommandResult.no("version " + c.a() + " is not kept");
         }
         propose(g, here.latest().number(), "back to " + c.a() + ": " + c.note(), back.texts());
         return asked(back.hash().substring(0, 12));
     }
 
-    private static Version find(LeaseMachine.Versions here, long number) {
+    private static ConfigurationVersion find(LeaseStateMachine.Versions here, long number) {
         return number == 0
-                ? Version.NONE
+                ? ConfigurationVersion.NONE
                 : here.all().stream()
                         .filter(v -> v.number() == number)
                         .findFirst()
                         .orElse(null);
     }
 
-    private Verdict diff(LeaseMachine.Versions here, long a, long b) {
-        Version from = find(here, a), to = find(here, b);
+    private CommandResult diff(LeaseStateMachine.Versions here, long a, long b) {
+        ConfigurationVersion from = find(here, a), to = find(here, b);
         return from == null || to == null
-                ? Verdict.no("version " + (from == null ? a : b) + " is not kept")
-                : new Verdict(true, "diff", VersionContent.diff(from, to));
+                ? CommandResult.no("version " + (from == null ? a : b) + " is not kept")
+                : new CommandResult(true, "diff", VersionContent.diff(from, to));
     }
 
     /** Reads the file on a thread of the engine's client, never on the I/O thread; {@code hash}: what the operator's tool read there. */
-    private Verdict propose(LeaseGroup g, Command.Config c) {
+    private CommandResult propose(LeaseGroup g, OperatorCommand.Config c) {
         CompletableFuture.runAsync(() -> {
             try {
                 Map<String, String> texts = VersionContent.read(Path.of(c.path()));
-                String read = Version.hash(texts).substring(0, 12);
+                String read = ConfigurationVersion.hash(texts).substring(0, 12);
                 if (read.equals(c.hash())) {
                     propose(g, c.a(), c.note(), texts);
                 } else {
@@ -353,15 +353,15 @@
         return asked(c.hash());
     }
 
-    private static Verdict asked(String hash) {
-        return Verdict.yes("asked " + hash + "; CONFIG tells what becomes of it");
+    private static CommandResult asked(String hash) {
+        return CommandResult.yes("asked " + hash + "; CONFIG tells what becomes of it");
     }
 
     private void propose(LeaseGroup g, long parent, String note, Map<String, String> texts) {
-        String hash = Version.hash(texts).substring(0, 12);
+        String hash = ConfigurationVersion.hash(texts).substring(0, 12);
         try {
             g.versions(VersionTable.Command.propose(
-                            settings.get(Keys.FLEET_NAME),
+                            settings.get(SettingKeys.FLEET_NAME),
                             parent,
                             note,
                             texts,
@@ -386,7 +386,7 @@
         System.err.println("versions: proposal " + hash + " refused: " + why);
     }
 
-    private List<String> status(LeaseMachine.Versions here) {
+    private List<String> status(LeaseStateMachine.Versions here) {
         long now = clock.now();
         List<String> lines = new ArrayList<>();
         synchronized (rule) {
@@ -407,7 +407,7 @@
                 + here.ended().word());
         lines.add("refused=" + (refused.isEmpty() ? "none" : refused));
         lines.add("fault=" + (fault.isEmpty() ? "none" : fault));
-        for (Version v : here.all()) {
+        for (ConfigurationVersion v : here.all()) {
             lines.add("version=" + v.number() + " " + v.hash().substring(0, 12) + " from " + v.parent() + " by "
                     + v.author() + ": " + v.note());
         }
--- a/src/main/java/elderseam/wiring/package-info.java
+++ b/src/main/java/elderseam/app/package-info.java
@@ -4,4 +4,4 @@
  * reloads, the operators' file, training for the class-data archive and the rehearsal commands. Nothing below imports this
  * package; only {@code elderseam.Main} above it does.
  */
-package elderseam.wiring;
+package elderseam.app;
--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -1,8 +1,8 @@
 package elderseam.cli;
 
-import elderseam.core.Json;
-import elderseam.settings.Key;
-import elderseam.settings.Keys;
+import elderseam.core.JsonValue;
+import elderseam.settings.SettingKey;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
@@ -125,7 +125,7 @@
                 index = "0",
                 arity = "0..1",
                 paramLabel = "SETTINGS",
-                defaultValue = Keys.FILE,
+                defaultValue = SettingKeys.FILE,
                 description = "the operator's settings (${DEFAULT-VALUE})")
         private Path settings;
 
@@ -243,7 +243,7 @@
 
         @Override
         public Integer call() throws IOException {
-            Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
+            Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
             spec.commandLine().getOut().println(file + ": no fault");
             return 0;
         }
@@ -262,7 +262,7 @@
                 index = "0",
                 arity = "0..1",
                 paramLabel = "FILE",
-                defaultValue = Keys.FILE,
+                defaultValue = SettingKeys.FILE,
                 description = "the operator's settings (${DEFAULT-VALUE})")
         private Path file;
 
@@ -274,13 +274,16 @@
             boolean given = spec.commandLine().getParseResult().hasMatchedPositional(0);
             Settings s = !given && !Files.exists(file)
                     ? Settings.none()
-                    : Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
+                    : Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
             PrintWriter out = spec.commandLine().getOut();
-            for (Key<?> k : Keys.ALL) {
+            for (SettingKey<?> k : SettingKeys.ALL) {
                 if (json) {
                     out.printf(
                             "{\"key\":%s,\"value\":%s,\"from\":%s,\"live\":%s}%n",
-                            Json.quoted(k.path()), Json.quoted(s.text(k)), Json.quoted(s.origin(k)), k.live());
+                            JsonValue.quoted(k.path()),
+                            JsonValue.quoted(s.text(k)),
+                            JsonValue.quoted(s.origin(k)),
+                            k.live());
                 } else {
                     out.printf(
                             "%-34s %-24s %-30s %s%n",
--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -1,7 +1,7 @@
 package elderseam.cli;
 
-import elderseam.fleet.rig.FleetFigures;
-import elderseam.fleet.rig.FleetRun;
+import elderseam.testkit.faults.FleetMeasurements;
+import elderseam.testkit.faults.LeaseTestRun;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -83,9 +83,10 @@
             if (members != 0 && (members < 2 || members > 16)) {
                 throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16, or 0");
             }
-            if (plant != null && !FleetRun.PLANTS.contains(plant)) {
+            if (plant != null && !LeaseTestRun.PLANTS.contains(plant)) {
                 throw new ParameterException(
-                        spec.commandLine(), "--plant: '" + plant + "', allowed: " + String.join(", ", FleetRun.PLANTS));
+                        spec.commandLine(),
+                        "--plant: '" + plant + "', allowed: " + String.join(", ", LeaseTestRun.PLANTS));
             }
             if (folder != null && Files.exists(folder.resolve("rig.jsonl"))) {
                 throw new ParameterException(
@@ -94,12 +95,12 @@
             }
             PrintWriter out = spec.commandLine().getOut();
             Path at = folder != null || schedule ? folder : Files.createTempDirectory("elderseam-fleet");
-            FleetRun.Terms terms = new FleetRun.Terms(scenario, rounds, seed, plant, at, members);
+            LeaseTestRun.Terms terms = new LeaseTestRun.Terms(scenario, rounds, seed, plant, at, members);
             if (schedule) {
-                FleetRun.schedule(terms).forEach(out::println);
+                LeaseTestRun.schedule(terms).forEach(out::println);
                 return 0;
             }
-            FleetRun.Result result = FleetRun.run(terms, line -> {
+            LeaseTestRun.Result result = LeaseTestRun.run(terms, line -> {
                 out.println(line);
                 out.flush();
             });
@@ -134,7 +135,7 @@
                 throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16");
             }
             PrintWriter out = spec.commandLine().getOut();
-            FleetFigures.measure(members, Files.createTempDirectory("elderseam-fleet"))
+            FleetMeasurements.measure(members, Files.createTempDirectory("elderseam-fleet"))
                     .forEach((name, value) -> out.println(name + "=" + value));
             out.flush();
             System.exit(0); // the stand-ins' threads would hold the process
--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -1,18 +1,18 @@
 package elderseam.cli;
 
 import elderseam.core.Clock;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Rumour;
-import elderseam.gossip.Standing;
-import elderseam.gossip.Tempo;
-import elderseam.gossip.net.Opening;
-import elderseam.gossip.net.Post;
-import elderseam.gossip.trial.Service;
-import elderseam.gossip.trial.Trial;
-import elderseam.http.Io;
-import elderseam.http.Lean;
-import elderseam.settings.Keys;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.MemberState;
+import elderseam.gossip.MembershipUpdate;
+import elderseam.gossip.transport.GossipConfiguration;
+import elderseam.gossip.transport.GossipTransport;
+import elderseam.http.IoLoop;
+import elderseam.http.XnioStartup;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
+import elderseam.testkit.gossip.SimulatedService;
+import elderseam.testkit.gossip.SimulationRun;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -94,13 +94,13 @@
             try {
                 boolean quiet = json != null && json.toString().equals("-");
                 say(quiet, "membership of " + instances + " ...");
-                Trial trial = Trial.run(instances, loss, !plain, seconds, seed);
-                Service off = null, on = null;
+                SimulationRun trial = SimulationRun.run(instances, loss, !plain, seconds, seed);
+                SimulatedService off = null, on = null;
                 if (service || liars > 0) {
                     say(quiet, "service without gossip ...");
-                    off = Service.run(instances, loss, liars, false, seed);
+                    off = SimulatedService.run(instances, loss, liars, false, seed);
                     say(quiet, "service with gossip ...");
-                    on = Service.run(instances, loss, liars, true, seed);
+                    on = SimulatedService.run(instances, loss, liars, true, seed);
                 }
                 tell(quiet, trial, off, on);
                 return 0;
@@ -115,7 +115,8 @@
             }
         }
 
-        private void tell(boolean quiet, Trial trial, Service off, Service on) throws IOException {
+        private void tell(boolean quiet, SimulationRun trial, SimulatedService off, SimulatedService on)
+                throws IOException {
             String object = off == null
                     ? trial.json()
                     : "{\"membership\":" + trial.json() + ",\"off\":" + off.json() + ",\"on\":" + on.json() + "}";
@@ -143,7 +144,7 @@
                     "Joins a fleet as a member that dispatches nothing, and tells what it has heard. It needs settings, a key and "
                             + "a line of the roster of its own.")
     static final class Watch implements Callable<Integer> {
-        private record Seen(List<Rumour> members, List<Claim> claims, String counts) {}
+        private record Seen(List<MembershipUpdate> members, List<HealthReport> claims, String counts) {}
 
         @Spec
         private CommandSpec spec;
@@ -162,27 +163,27 @@
 
         @Override
         public Integer call() throws Exception {
-            Settings s = Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS);
-            if (s.get(Keys.GOSSIP_LISTEN).equals("off")) {
+            Settings s = Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+            if (s.get(SettingKeys.GOSSIP_LISTEN).equals("off")) {
                 throw new IOException(file + ": gossip.listen: is off, allowed: ADDRESS:PORT");
             }
             if (seconds < 1 || seconds > 3_600) {
                 throw new ParameterException(spec.commandLine(), "--seconds: " + seconds + ", allowed: 1 to 3600");
             }
-            Opening opening = Opening.read(s);
-            Lean.start();
+            GossipConfiguration opening = GossipConfiguration.read(s);
+            XnioStartup.start();
             Clock clock = new Clock();
-            Io io = new Io(clock);
+            IoLoop io = new IoLoop(clock);
             CompletableFuture<Seen> seen = new CompletableFuture<>();
             PrintWriter err = spec.commandLine().getErr();
             io.run(() -> {
                 try {
-                    Post post = new Post(
+                    GossipTransport post = new GossipTransport(
                             io,
                             opening.place(),
                             opening.keys(),
-                            Tempo.USUAL,
-                            new Post.Ties(List::of, (destination, word) -> {}, err::println));
+                            GossipTimings.USUAL,
+                            new GossipTransport.Ties(List::of, (destination, word) -> {}, err::println));
                     io.at(clock.now() + seconds * 1_000 * Clock.MS, () -> {
                         seen.complete(new Seen(post.members(), post.claims(), post.counts()));
                         post.leave();
@@ -200,7 +201,7 @@
         }
 
         /** A member's state as {@code gossip watch} prints it. */
-        static String word(Standing standing) {
+        static String word(MemberState standing) {
             return switch (standing) {
                 case ALIVE -> "ALIVE";
                 case SUSPECT -> "SUSPECT";
@@ -210,7 +211,7 @@
         }
 
         /** A reported breaker state as {@code gossip watch} prints it. */
-        static String word(Claim.State state) {
+        static String word(HealthReport.State state) {
             return switch (state) {
                 case CLOSED -> "CLOSED";
                 case HALF_OPEN -> "HALF_OPEN";
@@ -220,17 +221,19 @@
 
         private void tell(Seen seen) {
             PrintWriter out = spec.commandLine().getOut();
-            seen.members.stream().sorted(Comparator.comparing(Rumour::member)).forEach(m -> {
-                if (json) {
-                    out.printf(
-                            "{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n",
-                            m.member(), m.address(), word(m.standing()), m.incarnation());
-                } else {
-                    out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.standing()));
-                }
-            });
+            seen.members.stream()
+                    .sorted(Comparator.comparing(MembershipUpdate::member))
+                    .forEach(m -> {
+                        if (json) {
+                            out.printf(
+                                    "{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n",
+                                    m.member(), m.address(), word(m.standing()), m.incarnation());
+                        } else {
+                            out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.standing()));
+                        }
+                    });
             seen.claims.stream()
-                    .sorted(Comparator.comparing(Claim::reporter).thenComparingLong(Claim::destination))
+                    .sorted(Comparator.comparing(HealthReport::reporter).thenComparingLong(HealthReport::destination))
                     .forEach(c -> {
                         if (json) {
                             out.printf(
--- a/src/main/java/elderseam/cli/KeysCommand.java
+++ b/src/main/java/elderseam/cli/KeysCommand.java
@@ -1,9 +1,9 @@
 package elderseam.cli;
 
-import elderseam.acme.Seal;
-import elderseam.gossip.Codec;
-import elderseam.gossip.trust.KeyFile;
-import elderseam.gossip.trust.Roster;
+import elderseam.acme.SecretSealer;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.security.KeyFile;
+import elderseam.gossip.security.Roster;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.FileAlreadyExistsException;
@@ -49,7 +49,7 @@
 
         @Override
         public Integer call() throws IOException {
-            if (!Codec.isName(name)) {
+            if (!PacketCodec.isName(name)) {
                 throw new ParameterException(
                         spec.commandLine(), "--name: '" + name + "' is no name, allowed: 1 to 64 of A-Z a-z 0-9 . _ -");
             }
@@ -80,7 +80,7 @@
         @Override
         public Integer call() throws IOException {
             try {
-                Seal.make(file, new SecureRandom());
+                SecretSealer.make(file, new SecureRandom());
                 return 0;
             } catch (FileAlreadyExistsException e) {
                 throw new IOException(file + ": there already, a key is not written over");
--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -1,16 +1,16 @@
 package elderseam.cli;
 
-import elderseam.emulator.Plan;
-import elderseam.emulator.PlanFile;
-import elderseam.emulator.Policies;
-import elderseam.fleet.share.Subsets;
-import elderseam.lab.Compare;
-import elderseam.lab.Find;
-import elderseam.lab.Report;
-import elderseam.lab.Run;
-import elderseam.lab.Sweep;
-import elderseam.lab.Table;
+import elderseam.fleet.partition.EndpointSubsetting;
 import elderseam.settings.Settings;
+import elderseam.testkit.emulator.Policies;
+import elderseam.testkit.emulator.Scenario;
+import elderseam.testkit.emulator.ScenarioFile;
+import elderseam.testkit.lab.ExperimentRun;
+import elderseam.testkit.lab.HtmlReport;
+import elderseam.testkit.lab.PairedComparison;
+import elderseam.testkit.lab.ParameterSweep;
+import elderseam.testkit.lab.RunTable;
+import elderseam.testkit.lab.WorstDaySearch;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -87,29 +87,29 @@
 
         @Override
         public Integer call() throws IOException {
-            Plan plan = PlanFile.read(file);
+            Scenario plan = ScenarioFile.read(file);
             policies.forEach(p -> known(spec, p));
-            List<Run> runs = new ArrayList<>();
+            List<ExperimentRun> runs = new ArrayList<>();
             long broken = 0;
             for (String p : policies) {
                 long start = System.nanoTime();
-                runs.add(Run.of(plan, p, seed, s -> {
+                runs.add(ExperimentRun.of(plan, p, seed, s -> {
                     if (!json) {
                         bar(spec, String.format(Locale.ROOT, "%s %.0f s", p, s), s / (plan.seconds() + 30));
                     }
                 }));
-                Run r = runs.get(runs.size() - 1);
+                ExperimentRun r = runs.get(runs.size() - 1);
                 broken +=
                         r.policy().equals("module") ? r.figures().get("broken").longValue() : 0;
                 tell(r, (System.nanoTime() - start) / 1e9);
             }
             if (report != null) {
-                Files.writeString(report, Report.page(plan, runs));
+                Files.writeString(report, HtmlReport.page(plan, runs));
             }
             return broken == 0 ? 0 : 1;
         }
 
-        private void tell(Run r, double seconds) {
+        private void tell(ExperimentRun r, double seconds) {
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 out.println(r.json(Map.of()));
@@ -172,15 +172,15 @@
                         spec.commandLine(),
                         "--seeds " + seeds + " --threads " + threads + ", allowed: 1 to 100000, 0 or more");
             }
-            List<Sweep.Cell> cells = Sweep.cells(grid, policies, 1, seeds);
-            int ran = new Sweep(file.toString(), Settings.lines(file, "a scenario"), folder)
+            List<ParameterSweep.Cell> cells = ParameterSweep.cells(grid, policies, 1, seeds);
+            int ran = new ParameterSweep(file.toString(), Settings.lines(file, "a scenario"), folder)
                     .run(
                             cells,
                             threads == 0 ? Runtime.getRuntime().availableProcessors() : threads,
                             (done, all) -> bar(spec, done + " of " + all, done / (double) all));
             spec.commandLine().getErr().println();
-            List<Table.Row> rows = Table.read(folder.resolve("runs.jsonl"));
-            Files.writeString(folder.resolve("runs.csv"), Table.csv(rows));
+            List<RunTable.Row> rows = RunTable.read(folder.resolve("runs.jsonl"));
+            Files.writeString(folder.resolve("runs.csv"), RunTable.csv(rows));
             spec.commandLine()
                     .getOut()
                     .println(ran + " runs now, " + rows.size() + " in " + folder.resolve("runs.jsonl")
@@ -214,7 +214,7 @@
 
         @Override
         public Integer call() throws IOException {
-            Map<String, Table.Row> left = rows(a), right = rows(b);
+            Map<String, RunTable.Row> left = rows(a), right = rows(b);
             List<String> seeds =
                     left.keySet().stream().filter(right::containsKey).toList();
             if (seeds.isEmpty()) {
@@ -224,7 +224,7 @@
             PrintWriter out = spec.commandLine().getOut();
             out.printf("%-22s %12s %12s %12s  %s%n", seeds.size() + " pairs", "A", "B", "B - A", "95%");
             for (String f : figures) {
-                Compare c = Compare.of(
+                PairedComparison c = PairedComparison.of(
                         seeds.stream().mapToDouble(s -> left.get(s).number(f)).toArray(),
                         seeds.stream().mapToDouble(s -> right.get(s).number(f)).toArray());
                 out.printf("%-22s %s%n", f, c.words());
@@ -233,11 +233,11 @@
         }
 
         /** By what both sides must share: values and seed. */
-        private static Map<String, Table.Row> rows(String side) throws IOException {
+        private static Map<String, RunTable.Row> rows(String side) throws IOException {
             int colon = side.lastIndexOf(':');
             String policy = colon > 0 ? side.substring(colon + 1) : "";
-            Map<String, Table.Row> all = new LinkedHashMap<>();
-            for (Table.Row r : Table.read(
+            Map<String, RunTable.Row> all = new LinkedHashMap<>();
+            for (RunTable.Row r : RunTable.read(
                     Path.of(colon > 0 ? side.substring(0, colon) : side).resolve("runs.jsonl"))) {
                 if (policy.isEmpty() || r.text("policy").equals(policy)) {
                     all.put(r.text("cell").replace(" " + r.text("policy") + " ", " "), r);
@@ -280,14 +280,14 @@
 
         @Override
         public Integer call() throws IOException {
-            Find find = new Find(
+            WorstDaySearch find = new WorstDaySearch(
                     file.toString(),
                     Settings.lines(file, "a scenario"),
                     known(spec, policy),
                     known(spec, against),
                     seed,
                     words -> spec.commandLine().getErr().println(words));
-            Find.Found f = find.search(days);
+            WorstDaySearch.Found f = find.search(days);
             Files.write(found, f.scenario());
             spec.commandLine()
                     .getOut()
@@ -344,19 +344,25 @@
             out.printf(
                     "%-10s %8s %14s %12s %12s %14s%n",
                     "way", "members", "max over mean", "one joins", "one leaves", "endpoint fails");
-            for (Subsets.Way way : Subsets.Way.values()) {
+            for (EndpointSubsetting.Way way : EndpointSubsetting.Way.values()) {
                 for (int n : members) {
-                    Map<String, List<String>> now = Subsets.all(way, names("m", n), hosts, size);
-                    double joins = Subsets.moved(now, Subsets.all(way, names("m", n + 1), hosts, size)),
+                    Map<String, List<String>> now = EndpointSubsetting.all(way, names("m", n), hosts, size);
+                    double
+                            joins =
+                                    EndpointSubsetting.moved(
+                                            now, EndpointSubsetting.all(way, names("m", n + 1), hosts, size)),
                             leaves = 0,
                             fails = 0;
                     for (int i = 0; i < SAMPLES; i++) { // whoever it is that goes
                         List<String> rest = names("m", n);
                         rest.remove(i * n / SAMPLES);
-                        leaves += Subsets.moved(now, Subsets.all(way, rest, hosts, size)) / SAMPLES;
+                        leaves +=
+                                EndpointSubsetting.moved(now, EndpointSubsetting.all(way, rest, hosts, size)) / SAMPLES;
                         List<String> left = names("s", endpoints);
                         left.remove(i * endpoints / SAMPLES);
-                        fails += Subsets.moved(now, Subsets.all(way, names("m", n), left, Math.min(size, left.size())))
+                        fails += EndpointSubsetting.moved(
+                                        now,
+                                        EndpointSubsetting.all(way, names("m", n), left, Math.min(size, left.size())))
                                 / SAMPLES;
                     }
                     out.printf(
@@ -364,7 +370,7 @@
                             "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n",
                             way.wireName(),
                             n,
-                            Subsets.unevenness(now, hosts),
+                            EndpointSubsetting.unevenness(now, hosts),
                             100 * joins,
                             100 * leaves,
                             100 * fails);
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -1,12 +1,12 @@
 package elderseam.cli;
 
-import elderseam.core.Json;
-import elderseam.rules.Example;
-import elderseam.rules.Extent;
-import elderseam.rules.Loader;
-import elderseam.rules.Names;
-import elderseam.rules.Sample;
-import elderseam.settings.Keys;
+import elderseam.core.JsonValue;
+import elderseam.rules.KnownNames;
+import elderseam.rules.RuleExample;
+import elderseam.rules.RuleLimits;
+import elderseam.rules.RuleLoader;
+import elderseam.rules.SampleRequest;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
@@ -58,30 +58,30 @@
         Settings settings() throws IOException {
             boolean settings = Settings.lines(file, "a rules file").stream()
                     .anyMatch(l -> l.strip().equals("[rules]"));
-            return settings ? Settings.read(file, Keys.ALL, Keys.CONTRADICTIONS) : Settings.none();
+            return settings ? Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS) : Settings.none();
         }
 
         private List<Path> files(Settings s) {
-            return s.tells(Keys.RULES_FILES)
-                    ? s.get(Keys.RULES_FILES).stream().map(Path::of).toList()
+            return s.tells(SettingKeys.RULES_FILES)
+                    ? s.get(SettingKeys.RULES_FILES).stream().map(Path::of).toList()
                     : List.of(file);
         }
 
-        Names names() throws IOException {
+        KnownNames names() throws IOException {
             if (config == null) {
-                return Names.untold();
+                return KnownNames.untold();
             }
-            Json settings = Json.read(Files.readAllBytes(config)).at("settings");
-            return Names.of(names(settings.at("services")), names(settings.at("orgs")));
+            JsonValue settings = JsonValue.read(Files.readAllBytes(config)).at("settings");
+            return KnownNames.of(names(settings.at("services")), names(settings.at("orgs")));
         }
 
-        private static List<String> names(Json list) {
+        private static List<String> names(JsonValue list) {
             return list.items().stream().map(i -> i.at("name").text("")).toList();
         }
 
-        Loader.Loaded read(Names names) throws IOException {
+        RuleLoader.Loaded read(KnownNames names) throws IOException {
             Settings s = settings();
-            return Loader.read(files(s), Extent.of(s), names);
+            return RuleLoader.read(files(s), RuleLimits.of(s), names);
         }
 
         String place() {
@@ -103,8 +103,8 @@
 
         @Override
         public Integer call() throws IOException {
-            Names names = given.names();
-            Loader.Loaded l = given.read(names);
+            KnownNames names = given.names();
+            RuleLoader.Loaded l = given.read(names);
             l.warnings().forEach(w -> spec.commandLine().getErr().println("warning: " + w));
             spec.commandLine()
                     .getOut()
@@ -135,7 +135,7 @@
         public Integer call() throws IOException {
             spec.commandLine()
                     .getOut()
-                    .println(Loader.explain(expression, Extent.of(given.settings()))
+                    .println(RuleLoader.explain(expression, RuleLimits.of(given.settings()))
                             .stripTrailing());
             return 0;
         }
@@ -170,10 +170,11 @@
 
         @Override
         public Integer call() throws IOException {
-            Names names = given.names();
-            Loader.Loaded l = given.read(names);
+            KnownNames names = given.names();
+            RuleLoader.Loaded l = given.read(names);
             List<String> faults = new ArrayList<>(), trace = new ArrayList<>();
-            Sample sample = Sample.read(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
+            SampleRequest sample =
+                    SampleRequest.read(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
             sample.state(state, faults);
             if (at != null) {
                 sample.at(at, faults);
@@ -182,16 +183,16 @@
                 throw new SettingsFault(
                         faults.stream().map(f -> "request: " + f).toList());
             }
-            Map<String, String> got = Example.eval(l, names, sample, trace);
+            Map<String, String> got = RuleExample.eval(l, names, sample, trace);
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(Json.quoted(k))
+                got.forEach((k, v) -> all.append(JsonValue.quoted(k))
                         .append(':')
-                        .append(Json.quoted(v))
+                        .append(JsonValue.quoted(v))
                         .append(','));
                 out.println(all + "\"why\":["
-                        + String.join(",", trace.stream().map(Json::quoted).toList()) + "]}");
+                        + String.join(",", trace.stream().map(JsonValue::quoted).toList()) + "]}");
             } else {
                 got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
                 trace.forEach(t -> out.println("  " + t));
@@ -214,10 +215,10 @@
 
         @Override
         public Integer call() throws IOException {
-            Names names = given.names();
-            Loader.Loaded l = given.read(names);
+            KnownNames names = given.names();
+            RuleLoader.Loaded l = given.read(names);
             int failed = 0;
-            for (Example e : l.examples()) {
+            for (RuleExample e : l.examples()) {
                 List<String> wrong = e.run(l.book(), names);
                 failed += wrong.isEmpty() ? 0 : 1;
                 spec.commandLine().getOut().println((wrong.isEmpty() ? "holds  " : "FAILS  ") + e.name());
--- a/src/main/java/elderseam/cli/VersionsCommand.java
+++ b/src/main/java/elderseam/cli/VersionsCommand.java
@@ -1,8 +1,8 @@
 package elderseam.cli;
 
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionContent;
-import elderseam.fleet.config.VersionFolder;
+import elderseam.fleet.config.VersionStore;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.net.Socket;
@@ -114,7 +114,7 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            String hash = Version.hash(VersionContent.read(file))
+            String hash = ConfigurationVersion.hash(VersionContent.read(file))
                     .substring(0, 12); // what is wrong with its form is told here already
             return proposed(
                     spec,
@@ -156,11 +156,11 @@
         @Option(names = "--folder", paramLabel = "DIR", description = "a member's folder that lasts, offline")
         private Path folder;
 
-        List<Version> kept() throws IOException {
+        List<ConfigurationVersion> kept() throws IOException {
             if (!Files.isDirectory(folder.resolve(CALLED))) {
                 throw new IOException(folder + ": no versions are kept there");
             }
-            return new VersionFolder(folder.resolve(CALLED)).all();
+            return new VersionStore(folder.resolve(CALLED)).all();
         }
     }
 
@@ -181,7 +181,7 @@
         public Integer call() throws IOException {
             PrintWriter out = spec.commandLine().getOut();
             if (where.folder != null) {
-                Version acting = new VersionFolder(where.folder.resolve(CALLED)).acting();
+                ConfigurationVersion acting = new VersionStore(where.folder.resolve(CALLED)).acting();
                 where.kept()
                         .forEach(v -> out.println((v.number() == acting.number() ? "* " : "  ") + v.number() + " "
                                 + v.hash().substring(0, 12) + " from " + v.parent() + " by " + v.author() + ": "
@@ -225,9 +225,9 @@
         @ArgGroup(multiplicity = "1")
         private Where where;
 
-        private Version find(List<Version> all, long number) throws IOException {
+        private ConfigurationVersion find(List<ConfigurationVersion> all, long number) throws IOException {
             return number == 0
-                    ? Version.NONE
+                    ? ConfigurationVersion.NONE
                     : all.stream()
                             .filter(v -> v.number() == number)
                             .findFirst()
@@ -238,7 +238,7 @@
         public Integer call() throws IOException {
             List<String> lines;
             if (where.folder != null) {
-                List<Version> all = where.kept();
+                List<ConfigurationVersion> all = where.kept();
                 lines = VersionContent.diff(find(all, a), find(all, b));
             } else {
                 lines = ask(spec, where.at.get(0), "CONFIG DIFF " + a + " " + b).stream()
--- a/src/main/java/elderseam/control/Verdict.java
+++ b/src/main/java/elderseam/control/CommandResult.java
@@ -3,13 +3,13 @@
 import java.util.List;
 
 /** What a command is answered: yes or no, a word on it, and the lines that follow. */
-public record Verdict(boolean yes, String word, List<String> lines) {
-    public static Verdict yes(String word) {
-        return new Verdict(true, word, List.of());
+public record CommandResult(boolean yes, String word, List<String> lines) {
+    public static CommandResult yes(String word) {
+        return new CommandResult(true, word, List.of());
     }
 
-    public static Verdict no(String why) {
-        return new Verdict(false, why, List.of());
+    public static CommandResult no(String why) {
+        return new CommandResult(false, why, List.of());
     }
 
     String encoded() {
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -1,7 +1,7 @@
 package elderseam.control;
 
 import elderseam.core.Clock;
-import elderseam.http.Io;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -26,13 +26,13 @@
     private static final int MOST_OPEN = 24; // then the oldest gives way
     private static final long OPEN_NS = 6_000 * Clock.MS; // for the line to be there, and the answer taken
 
-    private final Io io;
+    private final IoLoop io;
     private final AcceptingChannel<StreamConnection> accepting;
-    private final ByteBuffer buffer = ByteBuffer.allocate(Command.MOST + 2);
+    private final ByteBuffer buffer = ByteBuffer.allocate(OperatorCommand.MOST + 2);
     private final Set<Caller> open = new LinkedHashSet<>(); // oldest first
-    private Function<Command, Verdict> handler = c -> Verdict.no("starting");
+    private Function<OperatorCommand, CommandResult> handler = c -> CommandResult.no("starting");
 
-    public ControlServer(Io io, InetSocketAddress address) throws IOException {
+    public ControlServer(IoLoop io, InetSocketAddress address) throws IOException {
         this.io = io;
         ChannelListener<StreamConnection> opened = Caller::new;
         accepting = io.worker()
@@ -52,7 +52,7 @@
     }
 
     /** Who carries commands out from now on; before the first, each is answered that the process starts. */
-    public void handler(Function<Command, Verdict> handler) {
+    public void handler(Function<OperatorCommand, CommandResult> handler) {
         this.handler = handler;
     }
 
@@ -83,7 +83,7 @@
                     take();
                 }
                 if (n < 0 && answer == null) {
-                    answer(Verdict.no("the line has no end"));
+                    answer(CommandResult.no("the line has no end"));
                 } else if (n < 0) {
                     close();
                 }
@@ -96,27 +96,27 @@
             for (int i = 0; answer == null && i < buffer.position(); i++) {
                 char c = (char) (buffer.get(i) & 0xff);
                 if (c == '\n') {
-                    carryOut(Command.of(line.toString()));
-                } else if (line.length() == Command.MOST) {
-                    answer(Verdict.no("the line is longer than " + Command.MOST + " bytes"));
+                    carryOut(OperatorCommand.of(line.toString()));
+                } else if (line.length() == OperatorCommand.MOST) {
+                    answer(CommandResult.no("the line is longer than " + OperatorCommand.MOST + " bytes"));
                 } else {
                     line.append(c);
                 }
             }
         }
 
-        private void carryOut(Command command) {
-            Verdict verdict;
+        private void carryOut(OperatorCommand command) {
+            CommandResult verdict;
             try {
                 verdict = handler.apply(command);
             } catch (RuntimeException e) { // one caller's fault must not reach the thread
                 e.printStackTrace();
-                verdict = Verdict.no("a fault of this program; its log has it");
+                verdict = CommandResult.no("a fault of this program; its log has it");
             }
             answer(verdict);
         }
 
-        private void answer(Verdict verdict) {
+        private void answer(CommandResult verdict) {
             answer = ByteBuffer.wrap(verdict.encoded().getBytes(StandardCharsets.ISO_8859_1));
             write();
         }
@@ -140,7 +140,7 @@
 
         private void expired() {
             if (answer == null) {
-                answer(Verdict.no("no whole line came within " + OPEN_NS / 1_000 / Clock.MS + " s"));
+                answer(CommandResult.no("no whole line came within " + OPEN_NS / 1_000 / Clock.MS + " s"));
             }
             close();
         }
--- a/src/main/java/elderseam/control/Command.java
+++ b/src/main/java/elderseam/control/OperatorCommand.java
@@ -6,27 +6,27 @@
 import java.util.Map;
 
 /** What an operator asks, decoded from its one line. */
-public sealed interface Command {
-    record Ping() implements Command {}
+public sealed interface OperatorCommand {
+    record Ping() implements OperatorCommand {}
 
-    record Info() implements Command {}
+    record Info() implements OperatorCommand {}
 
-    record Detach(String host) implements Command {}
+    record Detach(String host) implements OperatorCommand {}
 
-    record Attach(String host) implements Command {}
+    record Attach(String host) implements OperatorCommand {}
 
-    record LameDuck() implements Command {}
+    record LameDuck() implements OperatorCommand {}
 
-    record Rejoin() implements Command {}
+    record Rejoin() implements OperatorCommand {}
 
     /** The fleet's leases; {@code members}: which members the group is to have, by name, or none told where it is only asked about. */
-    record Fleet(Map<String, InetSocketAddress> members) implements Command {}
+    record Fleet(Map<String, InetSocketAddress> members) implements OperatorCommand {}
 
     /**
      * Versions of what the fleet agrees on; {@code a} and {@code b} are numbers, {@code path} a file on this machine and {@code hash} the
      * first twelve digits of what whoever proposes it read there.
      */
-    record Config(Verb verb, long a, long b, String hash, String path, String note) implements Command {
+    record Config(Verb verb, long a, long b, String hash, String path, String note) implements OperatorCommand {
         public enum Verb {
             STATUS,
             DIFF,
@@ -36,13 +36,13 @@
     }
 
     /** No command; {@code why}: what is wrong, and what is allowed. */
-    record Fault(String why) implements Command {}
+    record Fault(String why) implements OperatorCommand {}
 
     /** The longest line, its end not counted. */
     int MOST = 256;
 
     /** The command of a line without its end. */
-    static Command of(String line) {
+    static OperatorCommand of(String line) {
         String[] words = line.strip().split("[ \t]+", -1);
         String id = words.length == 2 ? words[1] : null;
         if (id != null && !id.matches("[!-~]{1,200}")) {
@@ -70,7 +70,7 @@
         };
     }
 
-    private static Command fleet(String[] words) {
+    private static OperatorCommand fleet(String[] words) {
         Map<String, InetSocketAddress> members = new LinkedHashMap<>();
         for (String word : words) {
             if (!word.matches("[A-Za-z0-9._-]{1,64}=[0-9.]{7,15}:\\d{1,5}")
@@ -87,7 +87,7 @@
         return new Fleet(members);
     }
 
-    private static Command config(String rest) {
+    private static OperatorCommand config(String rest) {
         String[] w = rest.split("[ \t]+", 5);
         String number = "\\d{1,18}";
         if (rest.isEmpty()) {
--- a/src/main/java/elderseam/core/Stream.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -1,7 +1,7 @@
 package elderseam.core;
 
 /** A message on its way: what its front decoded, once, and how far it has come. One thread owns it. */
-public final class Stream {
+public final class ActiveRequest {
     /** What a front made of a message. {@code deadline} is absolute; {@code front} names who is owed the answer;
      *  {@code heedsWindow}: a refused one comes again only while a repeat would still be dropped;
      *  {@code key} (may be empty) and {@code body} are the front's own and pass through unread. Its end is
@@ -40,12 +40,12 @@
     int attempts;
     boolean mayHaveRun;
     long keyUntil;
-    UpstreamRequest out; // the attempt under way, or none
-    Attempts.Leg leg; // the last attempt
-    Answer answer;
+    EndpointCall out; // the attempt under way, or none
+    AttemptTracker.Leg leg; // the last attempt
+    FinalOutcome answer;
     boolean owned; // its client was told that it is taken on
 
-    Stream(Message message) {
+    ActiveRequest(Message message) {
         this.message = message;
     }
 
--- a/src/main/java/elderseam/core/Attempt.java
+++ b/src/main/java/elderseam/core/AttemptListener.java
@@ -1,7 +1,7 @@
 package elderseam.core;
 
 /** What the core is asked and told about one attempt, on its own thread. */
-public interface Attempt {
+public interface AttemptListener {
     /**
      * Asked just before bytes leave: time has passed since the attempt was decided, for a connection or a pause, and
      * its host may have told a wait or have been taken off the list. False: it must not leave, and has not.
@@ -12,8 +12,8 @@
     default void written() {}
 
     /** Its end, once. */
-    void ended(UpstreamRequest.End end);
+    void ended(EndpointCall.End end);
 
     /** It had been given up, and its answer came all the same, after {@link #ended} and at most once. */
-    void answeredLate(UpstreamRequest.End end);
+    void answeredLate(EndpointCall.End end);
 }
--- a/src/main/java/elderseam/core/Attempts.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -1,33 +1,33 @@
 package elderseam.core;
 
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.Map;
 
 /** The attempts of a relay's streams: each is begun once the journal knows of it, and counted while it is out. */
-final class Attempts {
-    private final Relay relay;
+final class AttemptTracker {
+    private final RequestDispatcher relay;
     private final Sender.Settings settings;
-    private final Facade facade;
+    private final PolicyFacade facade;
     private final Journal journal;
     private final Clock clock;
-    private final Loop loop;
-    private final Figures figures;
-    private final Map<Byte, Upstream> upstreams = new HashMap<>();
+    private final EventLoop loop;
+    private final Metrics figures;
+    private final Map<Byte, AttemptSender> upstreams = new HashMap<>();
     private Map<Long, int[]> outs; // calls out by destination, where anybody asks
     private int out;
 
-    Attempts(
-            Relay relay,
+    AttemptTracker(
+            RequestDispatcher relay,
             Sender.Settings settings,
-            Facade facade,
+            PolicyFacade facade,
             Journal journal,
             Clock clock,
-            Loop loop,
-            Figures figures) {
+            EventLoop loop,
+            Metrics figures) {
         this.relay = relay;
         this.settings = settings;
         this.facade = facade;
@@ -38,7 +38,7 @@
     }
 
     /** Who carries what that front took on. */
-    void upstream(byte front, Upstream upstream) {
+    void upstream(byte front, AttemptSender upstream) {
         upstreams.put(front, upstream);
     }
 
@@ -73,10 +73,11 @@
     }
 
     /** The journal knows of the attempt before its first byte can leave. */
-    void send(Stream s, String host, long answerBy) {
+    void send(ActiveRequest s, String host, long answerBy) {
         long start = clock.now(), left = s.message.deadline() - start;
         Leg leg = out(s, s.attempts++, host, start);
-        long by = Math.min(answerBy, s.message.deadline() - Math.min(Relay.TELLING_NS, Math.max(0, left / 2)));
+        long by = Math.min(
+                answerBy, s.message.deadline() - Math.min(RequestDispatcher.TELLING_NS, Math.max(0, left / 2)));
         if (journal.sent(s.id())) {
             s.out = upstreams
                     .get(s.message.front())
@@ -92,27 +93,27 @@
     }
 
     /** That attempt of a stream is out, here or at another process. */
-    Leg out(Stream s, int number, String host, long start) {
+    Leg out(ActiveRequest s, int number, String host, long start) {
         out(s.message.destination(), 1);
         s.leg = new Leg(s, number, host, start);
         return s.leg;
     }
 
     /** Stops waiting for an attempt, if it is the one that is out. */
-    static void abandon(Stream s, int number) {
+    static void abandon(ActiveRequest s, int number) {
         if (s != null && s.out != null && s.attempts - 1 == number) {
             s.out.abandon();
         }
     }
 
     /** One attempt, as its upstream knows it. Once the work is another process's, that one is told what is heard of it. */
-    final class Leg implements Attempt {
-        private final Stream stream;
+    final class Leg implements AttemptListener {
+        private final ActiveRequest stream;
         final int number;
         final String host;
         final long start;
 
-        private Leg(Stream stream, int number, String host, long start) {
+        private Leg(ActiveRequest stream, int number, String host, long start) {
             this.stream = stream;
             this.number = number;
             this.host = host;
@@ -163,8 +164,8 @@
             return end.status() == Status.DELIVERED || end.status() == Status.OVER;
         }
 
-        private static Answer answer(End end) {
-            return end.status() == Status.OVER ? Answer.OVER : Answer.DELIVERED;
+        private static FinalOutcome answer(End end) {
+            return end.status() == Status.OVER ? FinalOutcome.OVER : FinalOutcome.DELIVERED;
         }
     }
 }
--- a/src/main/java/elderseam/core/Twins.java
+++ b/src/main/java/elderseam/core/DuplicateIndex.java
@@ -7,21 +7,21 @@
 
 /**
  * Messages that an operator's key says are the same: the first of them is under way, the others wait for its end. Decisions
- * without I/O; {@link Relay} carries them out.
+ * without I/O; {@link RequestDispatcher} carries them out.
  */
-final class Twins {
-    private record Pending(Stream first, List<Stream.Message> others) {}
+final class DuplicateIndex {
+    private record Pending(ActiveRequest first, List<ActiveRequest.Message> others) {}
 
     private final Map<String, Pending> pending = new HashMap<>(); // by key
     private final Map<String, String> waiting = new HashMap<>(); // ids of the others, to their keys
 
     /** It is the first of its key. */
-    void leads(Stream s) {
+    void leads(ActiveRequest s) {
         pending.put(s.message.same(), new Pending(s, new ArrayList<>(1)));
     }
 
     /** The message under way that has one of these keys, or null. */
-    Stream first(String same, List<String> also) {
+    ActiveRequest first(String same, List<String> also) {
         Pending p = pending.get(same);
         for (int i = 0; p == null && i < also.size(); i++) {
             p = pending.get(also.get(i));
@@ -30,7 +30,7 @@
     }
 
     /** It waits for the end of that one from now on. */
-    void joins(Stream.Message m, Stream first) {
+    void joins(ActiveRequest.Message m, ActiveRequest first) {
         pending.get(first.message.same()).others.add(m);
         waiting.put(m.id(), first.message.same());
     }
@@ -44,7 +44,7 @@
     }
 
     /** Those that waited for it, in the order in which they came. */
-    List<Stream.Message> ended(Stream first) {
+    List<ActiveRequest.Message> ended(ActiveRequest first) {
         Pending p = pending.get(first.message.same());
         if (p == null || p.first != first) {
             return List.of();
@@ -58,13 +58,13 @@
      * The time of one that still waits is up: its answer, or null where it has had one. It can't have run where the first surely
      * has not, and may come again then; else nobody knows.
      */
-    Answer expired(Stream.Message m, long againNs) {
+    FinalOutcome expired(ActiveRequest.Message m, long againNs) {
         String same = waiting.remove(m.id());
         if (same == null) {
             return null;
         }
         Pending p = pending.get(same);
         p.others.removeIf(o -> o.id().equals(m.id()));
-        return p.first.mayHaveRun || p.first.out != null ? Answer.FAILED : Answer.refused(againNs);
+        return p.first.mayHaveRun || p.first.out != null ? FinalOutcome.FAILED : FinalOutcome.refused(againNs);
     }
 }
--- a/src/main/java/elderseam/core/Copies.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -3,16 +3,16 @@
 import java.util.List;
 import java.util.Map;
 
-/** Carries out what {@link Twins} decides on messages that an operator's key says are the same: journal, answers and times. */
-final class Copies {
+/** Carries out what {@link DuplicateIndex} decides on messages that an operator's key says are the same: journal, answers and times. */
+final class DuplicateRequests {
     private final Journal journal;
     private final Clock clock;
-    private final Loop loop;
-    private final Map<Byte, Front> fronts;
-    private final Figures figures;
-    private final Twins twins = new Twins();
+    private final EventLoop loop;
+    private final Map<Byte, Frontend> fronts;
+    private final Metrics figures;
+    private final DuplicateIndex twins = new DuplicateIndex();
 
-    Copies(Journal journal, Clock clock, Loop loop, Map<Byte, Front> fronts, Figures figures) {
+    DuplicateRequests(Journal journal, Clock clock, EventLoop loop, Map<Byte, Frontend> fronts, Metrics figures) {
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
@@ -21,18 +21,18 @@
     }
 
     /** It is the first of its key. */
-    void leads(Stream s) {
+    void leads(ActiveRequest s) {
         twins.leads(s);
     }
 
     /** The message under way that has one of these keys, or null. */
-    Stream first(String same, List<String> also) {
+    ActiveRequest first(String same, List<String> also) {
         return twins.first(same, also);
     }
 
     /** How one with one of these keys ended, or null. */
-    Answer answerOf(String same, List<String> also) {
-        Answer a = journal.answerOf(same);
+    FinalOutcome answerOf(String same, List<String> also) {
+        FinalOutcome a = journal.answerOf(same);
         for (int i = 0; a == null && i < also.size(); i++) {
             a = journal.answerOf(also.get(i));
         }
@@ -48,8 +48,8 @@
     }
 
     /** It waits for the end of that one from now on, journalled before anybody is told so; false where there is no room for that. */
-    boolean join(Stream.Message m, Stream first) {
-        Stream.Message copy = new Stream.Message(
+    boolean join(ActiveRequest.Message m, ActiveRequest first) {
+        ActiveRequest.Message copy = new ActiveRequest.Message(
                 m.id(),
                 m.front(),
                 m.cls(),
@@ -69,11 +69,11 @@
         return true;
     }
 
-    private void waits(Stream.Message copy, Stream first) {
+    private void waits(ActiveRequest.Message copy, ActiveRequest first) {
         twins.joins(copy, first);
         long left = copy.deadline() - clock.now();
-        loop.at(copy.deadline() - Math.min(Relay.TELLING_NS, Math.max(0, left / 2)), () -> {
-            Answer answer = twins.expired(copy, Relay.ROOM_AGAIN_NS);
+        loop.at(copy.deadline() - Math.min(RequestDispatcher.TELLING_NS, Math.max(0, left / 2)), () -> {
+            FinalOutcome answer = twins.expired(copy, RequestDispatcher.ROOM_AGAIN_NS);
             if (answer != null) {
                 end(copy, answer);
                 fronts.get(copy.front()).tell();
@@ -83,23 +83,23 @@
 
     /** Those that waited when the process ended: they wait on, or have that end, or the first was refused, and so are they. */
     void recover() {
-        for (Stream.Message m : journal.joined()) {
-            Stream first = twins.first(m.same(), List.of());
+        for (ActiveRequest.Message m : journal.joined()) {
+            ActiveRequest first = twins.first(m.same(), List.of());
             if (first != null) {
                 waits(m, first);
             } else {
-                Answer known = journal.answerOf(m.same());
-                end(m, known == null ? Answer.refused(Relay.ROOM_AGAIN_NS) : known);
+                FinalOutcome known = journal.answerOf(m.same());
+                end(m, known == null ? FinalOutcome.refused(RequestDispatcher.ROOM_AGAIN_NS) : known);
             }
         }
     }
 
     /** The end of the first is that of all its copies. */
-    void ended(Stream first, Answer answer) {
+    void ended(ActiveRequest first, FinalOutcome answer) {
         twins.ended(first).forEach(m -> end(m, answer));
     }
 
-    private void end(Stream.Message m, Answer answer) {
+    private void end(ActiveRequest.Message m, FinalOutcome answer) {
         figures.ended(m.cls(), answer);
         journal.ended(m, answer, true);
         fronts.get(m.front()).ended(m, answer);
--- a/src/main/java/elderseam/core/UpstreamRequest.java
+++ b/src/main/java/elderseam/core/EndpointCall.java
@@ -1,7 +1,7 @@
 package elderseam.core;
 
 /** One attempt under way. */
-public interface UpstreamRequest {
+public interface EndpointCall {
     /** Stops waiting; an answer that has arrived counts. The attempt's end is told before this returns, if still owed. */
     void abandon();
 
--- a/src/main/java/elderseam/core/Loop.java
+++ b/src/main/java/elderseam/core/EventLoop.java
@@ -1,7 +1,7 @@
 package elderseam.core;
 
 /** The thread that owns core and module, as the core sees it. */
-public interface Loop {
+public interface EventLoop {
     /** Runs a task on the owning thread, at that time or soon after. */
     void at(long time, Runnable task);
 
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -1,9 +1,9 @@
 package elderseam.core;
 
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.policy.Sender;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,17 +29,23 @@
     private static final int LAYOUT = 1; // of the ledger that the module writes; another one is not read
     private static final long KEEP_NS = 1_000 * Clock.MS;
 
-    private final Relay relay;
-    private final Attempts attempts;
-    private final Facade facade;
+    private final RequestDispatcher relay;
+    private final AttemptTracker attempts;
+    private final PolicyFacade facade;
     private final Journal journal;
     private final Clock clock;
-    private final Loop loop;
-    private Learned learned;
+    private final EventLoop loop;
+    private PolicySnapshotStore learned;
     private final Set<String> adopted = new HashSet<>(); // out at the process before this one
     private Consumer<Passed> successor; // once another process has taken over: it decides, this one tells it
 
-    Handover(Relay relay, Attempts attempts, Facade facade, Journal journal, Clock clock, Loop loop) {
+    Handover(
+            RequestDispatcher relay,
+            AttemptTracker attempts,
+            PolicyFacade facade,
+            Journal journal,
+            Clock clock,
+            EventLoop loop) {
         this.relay = relay;
         this.attempts = attempts;
         this.facade = facade;
@@ -55,7 +61,7 @@
      * calls that are out is told to it. {@link #keep} takes that back.
      */
     public Estate passOn(Consumer<Passed> to) {
-        LedgerBytes.Writer learned = new LedgerBytes.Writer(clock);
+        PolicySnapshotCodec.Writer learned = new PolicySnapshotCodec.Writer(clock);
         facade.carry(clock.now(), learned);
         List<Out> calls = new ArrayList<>();
         relay.streams()
@@ -72,7 +78,7 @@
     }
 
     /** Tells the process that decides, where that is another one. */
-    boolean tell(Stream s, Attempts.Leg leg, boolean late, End end) {
+    boolean tell(ActiveRequest s, AttemptTracker.Leg leg, boolean late, End end) {
         if (successor != null) {
             successor.accept(new Passed(s.id(), leg.number, leg.host, late, end));
         }
@@ -84,7 +90,7 @@
         successor = null;
         journal.resume();
         heard.forEach(p -> {
-            Stream s = relay.stream(p.id());
+            ActiveRequest s = relay.stream(p.id());
             if (p.late()) {
                 facade.reportLate(clock.now(), p.host(), p.end());
             } else if (s != null && s.leg != null && s.leg.number == p.attempt()) {
@@ -96,14 +102,14 @@
 
     /** Gives a call up that another process decides on. */
     public void abandon(String id, int attempt) {
-        Attempts.abandon(relay.stream(id), attempt);
+        AttemptTracker.abandon(relay.stream(id), attempt);
     }
 
     // ---------------------------------------------------------------- over a crash
 
     /** What is set aside, of so much disk, for what is learned; nothing of a disk that is small for the journal itself. */
     public static int aside(long diskBytes) {
-        return diskBytes < LEAST_DISK ? 0 : Learned.MOST;
+        return diskBytes < LEAST_DISK ? 0 : PolicySnapshotStore.MOST;
     }
 
     /**
@@ -112,9 +118,9 @@
      */
     public void remember() {
         try {
-            byte[] kept = new Learned(journal.aside(LEARNED), shape()).kept();
-            LedgerBytes.Reader reader = kept == null ? null : new LedgerBytes.Reader(kept, clock, true);
-            if (reader != null && reader.agoNs >= 0 && reader.agoNs < Learned.FRESH_NS) {
+            byte[] kept = new PolicySnapshotStore(journal.aside(LEARNED), shape()).kept();
+            PolicySnapshotCodec.Reader reader = kept == null ? null : new PolicySnapshotCodec.Reader(kept, clock, true);
+            if (reader != null && reader.agoNs >= 0 && reader.agoNs < PolicySnapshotStore.FRESH_NS) {
                 facade.carry(clock.now(), reader);
             }
         } catch (IOException e) {
@@ -126,7 +132,7 @@
     /** The same for a process that has taken over from one that lived: it has all of that by {@link #takeOver}. */
     public void keepOn() {
         try {
-            learned = new Learned(journal.aside(LEARNED), shape());
+            learned = new PolicySnapshotStore(journal.aside(LEARNED), shape());
             loop.at(clock.now() + KEEP_NS, this::keepLearned);
         } catch (IOException e) {
             System.err.println("what was learned is not kept: " + e);
@@ -143,7 +149,7 @@
 
     private void keepLearned() {
         if (!passedOn()) {
-            LedgerBytes.Writer writer = new LedgerBytes.Writer(clock);
+            PolicySnapshotCodec.Writer writer = new PolicySnapshotCodec.Writer(clock);
             facade.carry(clock.now(), writer);
             try {
                 learned.keep(writer.bytes());
@@ -163,14 +169,14 @@
     }
 
     /**
-     * Takes over from another process, before {@link Relay#recover}: what its module has learned, and its calls that are still
+     * Takes over from another process, before {@link RequestDispatcher#recover}: what its module has learned, and its calls that are still
      * out; {@code abandon} asks it to give one up.
      */
     public void takeOver(Estate estate, Consumer<Out> abandon) {
-        facade.carry(clock.now(), new LedgerBytes.Reader(estate.learned(), clock, false));
+        facade.carry(clock.now(), new PolicySnapshotCodec.Reader(estate.learned(), clock, false));
         Map<String, Out> calls = new HashMap<>();
         estate.out().forEach(o -> calls.put(o.id(), o));
-        for (Stream s : journal.out(calls.keySet())) {
+        for (ActiveRequest s : journal.out(calls.keySet())) {
             Out o = calls.get(s.id());
             if (s.attempts - 1 != o.attempt()) {
                 continue;
@@ -180,16 +186,18 @@
             facade.take(clock.now(), s);
             long start = clock.now() - o.agoNs();
             facade.adopt(clock.now(), s, o.host(), start);
-            Attempts.Leg leg = attempts.out(s, o.attempt(), o.host(), start);
+            AttemptTracker.Leg leg = attempts.out(s, o.attempt(), o.host(), start);
             s.out = () -> abandon.accept(o);
             // told in time even where the other process falls silent
-            loop.at(Math.max(clock.now(), s.message.deadline() - Relay.TELLING_NS / 2), () -> unheard(s, leg));
+            loop.at(
+                    Math.max(clock.now(), s.message.deadline() - RequestDispatcher.TELLING_NS / 2),
+                    () -> unheard(s, leg));
         }
     }
 
     /** The other process tells of a call that it had out. */
     public void passed(Passed p) {
-        Stream s = relay.stream(p.id());
+        ActiveRequest s = relay.stream(p.id());
         if (p.late()) {
             if (s != null && s.leg != null && s.leg.number == p.attempt()) {
                 s.leg.answeredLate(p.end());
@@ -205,7 +213,7 @@
     /** The other process has gone: the calls that it has not told of may have run. */
     public void unheard() {
         List.copyOf(adopted).forEach(id -> {
-            Stream s = relay.stream(id);
+            ActiveRequest s = relay.stream(id);
             if (s != null) {
                 unheard(s, s.leg);
             }
@@ -214,7 +222,7 @@
     }
 
     /** Its host did nothing for that, so it is not held against it. */
-    private void unheard(Stream s, Attempts.Leg leg) {
+    private void unheard(ActiveRequest s, AttemptTracker.Leg leg) {
         if (s.out != null && s.leg == leg && adopted.remove(s.id())) {
             leg.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
         }
--- a/src/main/java/elderseam/emulator/MemoryStore.java
+++ b/src/main/java/elderseam/core/InMemoryJournalStore.java
@@ -1,17 +1,13 @@
-package elderseam.emulator;
+package elderseam.core;
 
-import elderseam.core.JournalStore;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The journal's bytes in memory: they outlast the emulated process. */
-public final class MemoryStore implements JournalStore {
-    /** What a policy that is spared the loss of its messages keeps. */
-    final Map<String, PlainInstance.Held> kept = new LinkedHashMap<>();
-
-    private final Map<String, MemoryStore> aside = new LinkedHashMap<>();
+/** A journal's bytes in memory, for a process that is emulated or thrown away. Not thread-safe. */
+public class InMemoryJournalStore implements JournalStore {
+    private final Map<String, InMemoryJournalStore> aside = new LinkedHashMap<>();
     private byte[] bytes = new byte[1 << 12];
     private int length;
 
@@ -47,18 +43,18 @@
 
     @Override
     public JournalStore aside(String name) {
-        return aside.computeIfAbsent(name, n -> new MemoryStore());
+        return aside.computeIfAbsent(name, n -> new InMemoryJournalStore());
     }
 
     @Override
     public JournalStore fresh() {
-        return new MemoryStore();
+        return new InMemoryJournalStore();
     }
 
     @Override
     public void replace(JournalStore fresh) {
-        bytes = ((MemoryStore) fresh).bytes;
-        length = ((MemoryStore) fresh).length;
+        bytes = ((InMemoryJournalStore) fresh).bytes;
+        length = ((InMemoryJournalStore) fresh).length;
     }
 
     @Override
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -56,7 +56,7 @@
     // ---------------------------------------------------------------- what is told
 
     /** False where there is no room: then nothing was written. */
-    public boolean taken(Stream.Message m) {
+    public boolean taken(ActiveRequest.Message m) {
         byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
         if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap
@@ -70,7 +70,7 @@
     }
 
     /** Taken on as the same as another message, for whose end it waits; its body is not kept. False where there is no room. */
-    public boolean joined(Stream.Message m) {
+    public boolean joined(ActiveRequest.Message m) {
         byte[] record = JournalRecords.joined(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         if (2 * (live + record.length + JournalEntry.BOOKKEEPING) > cap || !append(record)) {
             return false;
@@ -131,7 +131,7 @@
         return keys.schemes();
     }
 
-    private void put(Stream.Message m, int bytes) {
+    private void put(ActiveRequest.Message m, int bytes) {
         JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.message = m;
         e.size = bytes;
@@ -163,8 +163,9 @@
     }
 
     /** The end of a message; {@code owned}: its client waits to be told. */
-    public void ended(Stream.Message m, Answer answer, boolean owned) {
-        boolean owed = owned && (answer.kind() == Answer.Kind.REFUSED || answer.kind() == Answer.Kind.FAILED);
+    public void ended(ActiveRequest.Message m, FinalOutcome answer, boolean owned) {
+        boolean owed =
+                owned && (answer.kind() == FinalOutcome.Kind.REFUSED || answer.kind() == FinalOutcome.Kind.FAILED);
         JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.answer = answer;
         e.owed = owed;
@@ -192,7 +193,7 @@
     /** A refused message may come again, so its end is not remembered once it is told. */
     private void putEnd(String id, JournalEntry e) {
         put(id, e);
-        if (e.answer.kind() == Answer.Kind.REFUSED && !e.owed) {
+        if (e.answer.kind() == FinalOutcome.Kind.REFUSED && !e.owed) {
             forget(id);
         }
     }
@@ -213,7 +214,7 @@
 
     private void toldOf(String id, JournalEntry e) {
         e.owed = false;
-        if (e.answer != null && e.answer.kind() == Answer.Kind.REFUSED) {
+        if (e.answer != null && e.answer.kind() == FinalOutcome.Kind.REFUSED) {
             forget(id);
         }
     }
@@ -221,19 +222,19 @@
     // ---------------------------------------------------------------- what it knows
 
     /** How a message ended, or null. */
-    public Answer answer(String id) {
+    public FinalOutcome answer(String id) {
         JournalEntry e = entries.get(id);
         return e == null ? null : e.answer;
     }
 
     /** How a message with that key ended, where that is final: one that was refused may come again. Null for none. */
-    public Answer answerOf(String same) {
-        Answer a = keys.id(same) == null ? null : answer(keys.id(same));
-        return a == null || a.kind() == Answer.Kind.REFUSED ? null : a;
+    public FinalOutcome answerOf(String same) {
+        FinalOutcome a = keys.id(same) == null ? null : answer(keys.id(same));
+        return a == null || a.kind() == FinalOutcome.Kind.REFUSED ? null : a;
     }
 
     /** Those that wait for the end of another, as an earlier process left them. */
-    List<Stream.Message> joined() {
+    List<ActiveRequest.Message> joined() {
         return entries.values().stream()
                 .filter(e -> e.joined && e.answer == null)
                 .map(e -> e.message)
@@ -241,8 +242,8 @@
     }
 
     /** The messages without an end, as an earlier process left them, but for those whose call it still has out. */
-    List<Stream> unfinished(Set<String> out) {
-        List<Stream> back = new ArrayList<>();
+    List<ActiveRequest> unfinished(Set<String> out) {
+        List<ActiveRequest> back = new ArrayList<>();
         entries.forEach((id, e) -> {
             if (e.answer == null && !e.joined && !out.contains(id)) {
                 e.result(e.outMs != 0); // an attempt that was out may have run
@@ -253,7 +254,7 @@
     }
 
     /** Those of these that are unfinished; their calls are out. */
-    List<Stream> out(Set<String> ids) {
+    List<ActiveRequest> out(Set<String> ids) {
         return ids.stream()
                 .map(entries::get)
                 .filter(e -> e != null && e.answer == null && !e.joined)
@@ -261,8 +262,8 @@
                 .toList();
     }
 
-    private Stream back(JournalEntry e) {
-        Stream s = new Stream(e.message);
+    private ActiveRequest back(JournalEntry e) {
+        ActiveRequest s = new ActiveRequest(e.message);
         s.attempts = e.attempts;
         s.mayHaveRun = e.firstRanMs != 0;
         s.keyUntil = clock.fromWall(e.firstRanMs);
@@ -275,12 +276,14 @@
     }
 
     /** The ends that are yet to be told; the bodies are gone. */
-    Map<Stream.Message, Answer> owed() {
-        Map<Stream.Message, Answer> owed = new LinkedHashMap<>();
+    Map<ActiveRequest.Message, FinalOutcome> owed() {
+        Map<ActiveRequest.Message, FinalOutcome> owed = new LinkedHashMap<>();
         entries.forEach((id, e) -> {
             if (e.owed) {
                 long keep = clock.fromWall(e.keepMs);
-                owed.put(new Stream.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "", new byte[0]), e.answer);
+                owed.put(
+                        new ActiveRequest.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "", new byte[0]),
+                        e.answer);
             }
         });
         return owed;
@@ -370,7 +373,7 @@
                 in.readFully(body);
                 String same = type == JournalRecords.JOINED ? in.readUTF() : keys.of(id) == null ? "" : keys.of(id);
                 put(
-                        new Stream.Message(
+                        new ActiveRequest.Message(
                                 id,
                                 front,
                                 cls,
@@ -401,7 +404,7 @@
             }
             case JournalRecords.ENDED -> {
                 JournalEntry end = new JournalEntry(in.readByte(), in.readLong());
-                end.answer = new Answer(Answer.Kind.values()[in.readByte()], in.readLong());
+                end.answer = new FinalOutcome(FinalOutcome.Kind.values()[in.readByte()], in.readLong());
                 end.owed = in.readBoolean();
                 putEnd(id, end);
             }
--- a/src/main/java/elderseam/core/JournalEntry.java
+++ b/src/main/java/elderseam/core/JournalEntry.java
@@ -9,11 +9,11 @@
 
     final byte front;
     final long keepMs;
-    Stream.Message message; // while unfinished
+    ActiveRequest.Message message; // while unfinished
     int size; // of its record, likewise
     int attempts;
     long firstRanMs, outMs; // first attempt that may have run; the one that is out
-    Answer answer;
+    FinalOutcome answer;
     boolean owed;
     boolean joined; // waits for the end of another that has its key
 
--- a/src/main/java/elderseam/core/JournalRecords.java
+++ b/src/main/java/elderseam/core/JournalRecords.java
@@ -48,19 +48,19 @@
     }
 
     /** Times are of the wall clock, in ms. */
-    static byte[] taken(Stream.Message m, long deadlineMs, long keepMs) {
+    static byte[] taken(ActiveRequest.Message m, long deadlineMs, long keepMs) {
         return encode(TAKEN, m.id(), out -> message(out, m, deadlineMs, keepMs));
     }
 
     /** One that waits for another's end: with the key that they have in common. */
-    static byte[] joined(Stream.Message m, long deadlineMs, long keepMs) {
+    static byte[] joined(ActiveRequest.Message m, long deadlineMs, long keepMs) {
         return encode(JOINED, m.id(), out -> {
             message(out, m, deadlineMs, keepMs);
             out.writeUTF(m.same());
         });
     }
 
-    private static void message(DataOutputStream out, Stream.Message m, long deadlineMs, long keepMs)
+    private static void message(DataOutputStream out, ActiveRequest.Message m, long deadlineMs, long keepMs)
             throws IOException {
         out.writeByte(m.front());
         out.writeInt(m.cls());
@@ -91,7 +91,7 @@
         return encode(DETACHED, host, to -> to.writeBoolean(out));
     }
 
-    static byte[] ended(String id, byte front, long keepMs, Answer answer, boolean owed) {
+    static byte[] ended(String id, byte front, long keepMs, FinalOutcome answer, boolean owed) {
         return encode(ENDED, id, out -> {
             out.writeByte(front);
             out.writeLong(keepMs);
--- a/src/main/java/elderseam/core/Json.java
+++ b/src/main/java/elderseam/core/JsonValue.java
@@ -15,9 +15,9 @@
  * load four hundred classes more before the first message (docs/recovery.md has the figures). Nesting is bounded to
  * {@value #MOST_DEPTH}.
  */
-public final class Json {
+public final class JsonValue {
     private static final int MOST_DEPTH = 64;
-    private static final Json ABSENT = new Json(null);
+    private static final JsonValue ABSENT = new JsonValue(null);
     private static final JsonFactory FACTORY = JsonFactory.builder()
             .streamReadConstraints(
                     StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build())
@@ -25,17 +25,17 @@
 
     private final Object value; // Map, List, String, or null
 
-    private Json(Object value) {
+    private JsonValue(Object value) {
         this.value = value;
     }
 
     /** Reads one value; what follows it must be white space. Faults name line and column. */
-    public static Json read(byte[] bytes) throws IOException {
+    public static JsonValue read(byte[] bytes) throws IOException {
         try (JsonParser p = FACTORY.createParser(bytes)) {
             if (p.nextToken() == null) {
                 throw new IOException("no JSON value at all");
             }
-            Json whole = value(p);
+            JsonValue whole = value(p);
             if (p.nextToken() != null) {
                 throw new IOException("more than one JSON value");
             }
@@ -43,25 +43,25 @@
         }
     }
 
-    private static Json value(JsonParser p) throws IOException {
+    private static JsonValue value(JsonParser p) throws IOException {
         JsonToken t = p.currentToken();
         if (t == JsonToken.START_OBJECT) {
-            Map<String, Json> fields = new LinkedHashMap<>();
+            Map<String, JsonValue> fields = new LinkedHashMap<>();
             while (p.nextToken() != JsonToken.END_OBJECT) {
                 String name = p.currentName();
                 p.nextToken();
                 fields.put(name, value(p));
             }
-            return new Json(fields);
+            return new JsonValue(fields);
         }
         if (t == JsonToken.START_ARRAY) {
-            List<Json> items = new ArrayList<>();
+            List<JsonValue> items = new ArrayList<>();
             while (p.nextToken() != JsonToken.END_ARRAY) {
                 items.add(value(p));
             }
-            return new Json(items);
+            return new JsonValue(items);
         }
-        return t == JsonToken.VALUE_NULL ? ABSENT : new Json(p.getText());
+        return t == JsonToken.VALUE_NULL ? ABSENT : new JsonValue(p.getText());
     }
 
     public boolean isObject() {
@@ -78,18 +78,18 @@
     }
 
     /** A field of an object; an absent one is a value that is not told. */
-    public Json at(String name) {
+    public JsonValue at(String name) {
         return fields().getOrDefault(name, ABSENT);
     }
 
     @SuppressWarnings("unchecked")
-    public Map<String, Json> fields() {
-        return value instanceof Map ? (Map<String, Json>) value : Map.of();
+    public Map<String, JsonValue> fields() {
+        return value instanceof Map ? (Map<String, JsonValue>) value : Map.of();
     }
 
     @SuppressWarnings("unchecked")
-    public List<Json> items() {
-        return value instanceof List ? (List<Json>) value : List.of();
+    public List<JsonValue> items() {
+        return value instanceof List ? (List<JsonValue>) value : List.of();
     }
 
     /** A plain value as written. */
--- a/src/main/java/elderseam/core/Figures.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** The counters that operators read, each counted where its event happens; they begin at 0 with the process. */
-final class Figures {
+final class Metrics {
     private static final class Counts {
         long success, busy, failure, calls;
     }
@@ -11,7 +11,7 @@
     private final Counts[] byClass;
     private long calls;
 
-    Figures(int classes) {
+    Metrics(int classes) {
         byClass = new Counts[classes];
         for (int i = 0; i < classes; i++) {
             byClass[i] = new Counts();
@@ -19,7 +19,7 @@
     }
 
     /** A message has its end. What ended elsewhere is counted there. */
-    void ended(int cls, Answer answer) {
+    void ended(int cls, FinalOutcome answer) {
         Counts c = byClass[cls];
         switch (answer.kind()) {
             case DELIVERED -> c.success++;
--- a/src/main/java/elderseam/core/Detached.java
+++ b/src/main/java/elderseam/core/OperatorDrains.java
@@ -1,8 +1,8 @@
 package elderseam.core;
 
-import elderseam.module.Sender.Endpoint;
-import elderseam.module.Sender.ListKind;
-import elderseam.module.Sender.Listing;
+import elderseam.policy.Sender.Endpoint;
+import elderseam.policy.Sender.ListKind;
+import elderseam.policy.Sender.Listing;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -16,7 +16,7 @@
  * What an operator has taken out of use, laid over the list of hosts: decisions without I/O. Whatever the list says of such a
  * host, the module sees it as draining. The last list is kept, so that a host can be shown anew when its ban begins or ends.
  */
-final class Detached {
+final class OperatorDrains {
     /** Hosts that may be detached at once, and ids that are remembered after they left the list. */
     static final int MOST = 1_024, REMEMBERED = 4_096;
 
@@ -24,7 +24,7 @@
     private final Map<String, Endpoint> listed = new LinkedHashMap<>();
     private final Set<String> past = new LinkedHashSet<>(); // oldest first
 
-    Detached(Collection<String> detached) {
+    OperatorDrains(Collection<String> detached) {
         this.detached = new HashSet<>(detached);
     }
 
