--- a/src/main/java/elderseam/core/Facade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -1,8 +1,8 @@
 package elderseam.core;
 
-import elderseam.module.Brain;
-import elderseam.module.Sender;
-import elderseam.module.Sender.Result;
+import elderseam.policy.DispatchPolicy;
+import elderseam.policy.Sender;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -11,7 +11,7 @@
 import java.util.function.Predicate;
 
 /** The module in blocking style: {@link #report} what happened, {@link #tick} the clock, {@link #pick} what to do. */
-final class Facade {
+final class PolicyFacade {
     private record Timer(long at, long token) implements Comparable<Timer> {
         @Override
         public int compareTo(Timer o) {
@@ -20,17 +20,17 @@
     }
 
     private final Sender.Settings settings;
-    private final Brain brain;
+    private final DispatchPolicy brain;
     private final Consumer<String> log;
-    private final ArrayDeque<Decision> decisions = new ArrayDeque<>();
+    private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private long now;
     private boolean news;
 
-    Facade(Sender.Settings settings, long seed, Consumer<String> log) {
+    PolicyFacade(Sender.Settings settings, long seed, Consumer<String> log) {
         this.log = log;
         this.settings = settings;
-        this.brain = new Brain(settings, seed, new Recorder());
+        this.brain = new DispatchPolicy(settings, seed, new Recorder());
     }
 
     Sender.Settings settings() {
@@ -42,7 +42,7 @@
         news = true;
     }
 
-    void take(long time, Stream s) {
+    void take(long time, ActiveRequest s) {
         at(time);
         if (s.attempts == 0) {
             brain.message(now, message(s));
@@ -52,7 +52,7 @@
     }
 
     /** A stream's last attempt is still out, at another process. */
-    void adopt(long time, Stream s, String host, long start) {
+    void adopt(long time, ActiveRequest s, String host, long start) {
         at(time);
         brain.adopted(now, s.id(), host, start);
     }
@@ -69,16 +69,16 @@
         return brain.serves(now, destination);
     }
 
-    private static Sender.Message message(Stream s) {
-        Stream.Message m = s.message;
+    private static Sender.Message message(ActiveRequest s) {
+        ActiveRequest.Message m = s.message;
         return new Sender.Message(
                 m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(), m.heedsWindow());
     }
 
     /** An attempt of a stream has ended. {@code over}: nothing more is owed. */
-    void report(long time, String id, int attempt, String host, long start, UpstreamRequest.End end) {
+    void report(long time, String id, int attempt, String host, long start, EndpointCall.End end) {
         at(time);
-        boolean over = end.status() == UpstreamRequest.Status.DELIVERED || end.status() == UpstreamRequest.Status.OVER;
+        boolean over = end.status() == EndpointCall.Status.DELIVERED || end.status() == EndpointCall.Status.OVER;
         brain.outcome(
                 now,
                 new Sender.Outcome(
@@ -88,12 +88,12 @@
                         result(end),
                         now - start,
                         end.waitNs(),
-                        end.status() == UpstreamRequest.Status.NO_SLOT,
+                        end.status() == EndpointCall.Status.NO_SLOT,
                         over,
                         new Sender.Report(end.shareLeft(), end.limitPerS())));
     }
 
-    private static Result result(UpstreamRequest.End end) {
+    private static Result result(EndpointCall.End end) {
         return switch (end.status()) {
             case DELIVERED -> Result.DELIVERED;
             case ERROR -> Result.ERROR;
@@ -106,7 +106,7 @@
     }
 
     /** The answer of an attempt that had been given up: its wait and its report of a limit count, its end is past. */
-    void reportLate(long time, String host, UpstreamRequest.End end) {
+    void reportLate(long time, String host, EndpointCall.End end) {
         at(time);
         brain.heard(now, host, end.waitNs(), new Sender.Report(end.shareLeft(), end.limitPerS()));
     }
@@ -186,7 +186,7 @@
     }
 
     /** The next thing to do now, or null. */
-    Decision pick(long time) {
+    PolicyDecision pick(long time) {
         now = Math.max(now, time);
         if (decisions.isEmpty() && news) {
             news = false;
@@ -198,22 +198,22 @@
     private final class Recorder implements Sender.Actions {
         @Override
         public void send(String id, String endpoint, long stopAt) {
-            decisions.add(new Decision.Send(id, endpoint, stopAt));
+            decisions.add(new PolicyDecision.Send(id, endpoint, stopAt));
         }
 
         @Override
         public void cancel(String id, int attempt) {
-            decisions.add(new Decision.Abandon(id, attempt));
+            decisions.add(new PolicyDecision.Abandon(id, attempt));
         }
 
         @Override
         public void refuse(String id, long retryAfterNs) {
-            decisions.add(new Decision.End(id, Answer.refused(retryAfterNs)));
+            decisions.add(new PolicyDecision.End(id, FinalOutcome.refused(retryAfterNs)));
         }
 
         @Override
         public void fail(String id) {
-            decisions.add(new Decision.End(id, Answer.FAILED));
+            decisions.add(new PolicyDecision.End(id, FinalOutcome.FAILED));
         }
 
         @Override
@@ -223,12 +223,12 @@
 
         @Override
         public void disconnect(String endpoint) {
-            decisions.add(new Decision.CloseIdle(endpoint));
+            decisions.add(new PolicyDecision.CloseIdle(endpoint));
         }
 
         @Override
         public void subscribe() {
-            decisions.add(new Decision.Watch());
+            decisions.add(new PolicyDecision.Watch());
         }
 
         @Override
--- a/src/main/java/elderseam/core/LedgerBytes.java
+++ b/src/main/java/elderseam/core/PolicySnapshotCodec.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.module.Sender.Ledger;
+import elderseam.policy.Sender.Ledger;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -9,13 +9,13 @@
 import java.io.UncheckedIOException;
 
 /** What the module has learned, as bytes for another process of the same machine; bytes that stop short are an exception. */
-final class LedgerBytes {
+final class PolicySnapshotCodec {
     /** A time so far from now is none: a mark for never, or not yet. */
     private static final long FAR_NS = 30L * 24 * 3_600 * 1_000_000_000L;
     /** Both clocks are the machine's on Linux; less than this is the rounding of the wall clock. */
     private static final long SAME_NS = 20 * Clock.MS;
 
-    private LedgerBytes() {}
+    private PolicySnapshotCodec() {}
 
     static final class Writer implements Ledger {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(16 << 10);
--- a/src/main/java/elderseam/core/Learned.java
+++ b/src/main/java/elderseam/core/PolicySnapshotStore.java
@@ -11,7 +11,7 @@
  *
  * <p>Layout: checksum of the rest (8 bytes), length (4), the shape of the settings (4), the ledger.
  */
-final class Learned {
+final class PolicySnapshotStore {
     /** The most that is kept, and set aside of the disk. */
     static final int MOST = 64 << 10;
     /** What is older says nothing of now. */
@@ -24,7 +24,7 @@
     private int written; // of the last one, so that a shorter one leaves no tail
 
     /** {@code shape}: of the settings that a ledger belongs to; one of another shape is passed over. */
-    Learned(JournalStore store, int shape) {
+    PolicySnapshotStore(JournalStore store, int shape) {
         this.store = store;
         this.shape = shape;
     }
--- a/src/main/java/elderseam/core/Recovery.java
+++ b/src/main/java/elderseam/core/Recovery.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.module.Sender;
+import elderseam.policy.Sender;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -31,23 +31,24 @@
     }
 
     private final long start;
-    private final ArrayDeque<Stream> ends = new ArrayDeque<>(), others = new ArrayDeque<>();
+    private final ArrayDeque<ActiveRequest> ends = new ArrayDeque<>(), others = new ArrayDeque<>();
     private final int most;
     private int portion = FIRST;
 
     /** {@code mostOut}: calls that may be out at once; a portion of those that will be called is no larger. */
-    Recovery(List<Stream> left, List<Sender.MessageClass> classes, int mostOut, long now) {
+    Recovery(List<ActiveRequest> left, List<Sender.MessageClass> classes, int mostOut, long now) {
         start = now;
         most = Math.max(LEAST, mostOut);
-        List<Stream> sorted = new ArrayList<>(left);
-        sorted.sort(Comparator.comparingLong((Stream s) -> s.message.deadline()).thenComparing(Stream::id));
-        for (Stream s : sorted) {
+        List<ActiveRequest> sorted = new ArrayList<>(left);
+        sorted.sort(Comparator.comparingLong((ActiveRequest s) -> s.message.deadline())
+                .thenComparing(ActiveRequest::id));
+        for (ActiveRequest s : sorted) {
             (endKnown(s, classes, now) ? ends : others).add(s);
         }
     }
 
     /** Whether no upstream host can be called for it any more. */
-    static boolean endKnown(Stream s, List<Sender.MessageClass> classes, long now) {
+    static boolean endKnown(ActiveRequest s, List<Sender.MessageClass> classes, long now) {
         return s.message.deadline() <= now
                 || s.mayHaveRun
                         && switch (classes.get(s.message.cls()).effect()) {
@@ -62,10 +63,10 @@
     }
 
     /** The next portion, of one stage alone; empty once done. */
-    List<Stream> next() {
+    List<ActiveRequest> next() {
         boolean first = stage() == Stage.ENDS;
-        ArrayDeque<Stream> from = first ? ends : others;
-        List<Stream> next = new ArrayList<>();
+        ArrayDeque<ActiveRequest> from = first ? ends : others;
+        List<ActiveRequest> next = new ArrayList<>();
         for (int left = first ? portion : Math.min(portion, most); left > 0 && !from.isEmpty(); left--) {
             next.add(from.poll());
         }
--- a/src/main/java/elderseam/core/Facts.java
+++ b/src/main/java/elderseam/core/RequestAttributes.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 
 /** What a front knows of a request besides its message, for the operator's rules; fetched only where a rule asks. */
-public interface Facts {
+public interface RequestAttributes {
     /** Such as {@code platform} or {@code events}. */
     String front();
 
--- a/src/main/java/elderseam/core/Relay.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.module.Sender;
+import elderseam.policy.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,7 +14,7 @@
  * Takes streams on, carries out what the module decides and sees to it that each ends once. Owned by one thread;
  * nothing here blocks.
  */
-public final class Relay {
+public final class RequestDispatcher {
     /** A destination that no list has: what is to go there is never taken on, whatever any rule says. */
     public static final long NOWHERE = 999_999_999_999_999_999L;
 
@@ -25,41 +25,42 @@
     private static final long LOOK_NS = 5 * Clock.MS;
 
     private final Sender.Settings settings;
-    private final Facade facade;
+    private final PolicyFacade facade;
     private final Journal journal;
     private final Clock clock;
-    private final Loop loop;
-    private final Map<Byte, Front> fronts = new HashMap<>();
-    private final Map<String, Stream> streams = new HashMap<>();
-    private final Copies copies;
-    private final Detached detached;
-    private final Figures figures;
-    private final Attempts attempts;
+    private final EventLoop loop;
+    private final Map<Byte, Frontend> fronts = new HashMap<>();
+    private final Map<String, ActiveRequest> streams = new HashMap<>();
+    private final DuplicateRequests copies;
+    private final OperatorDrains detached;
+    private final Metrics figures;
+    private final AttemptTracker attempts;
     private final Handover handover;
     private Runnable watch = () -> {};
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
 
-    public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop) {
+    public RequestDispatcher(Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
         this(settings, seed, journal, clock, loop, words -> System.err.println("module: " + words));
     }
 
     /** {@code log}: where the module's words go. */
-    public Relay(Sender.Settings settings, long seed, Journal journal, Clock clock, Loop loop, Consumer<String> log) {
+    public RequestDispatcher(
+            Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
-        this.detached = new Detached(journal.detached());
-        this.figures = new Figures(settings.classes().size());
-        this.copies = new Copies(journal, clock, loop, fronts, figures);
-        this.facade = new Facade(settings, seed, log);
-        this.attempts = new Attempts(this, settings, facade, journal, clock, loop, figures);
+        this.detached = new OperatorDrains(journal.detached());
+        this.figures = new Metrics(settings.classes().size());
+        this.copies = new DuplicateRequests(journal, clock, loop, fronts, figures);
+        this.facade = new PolicyFacade(settings, seed, log);
+        this.attempts = new AttemptTracker(this, settings, facade, journal, clock, loop, figures);
         this.handover = new Handover(this, attempts, facade, journal, clock, loop);
     }
 
     /** Names a front, and who carries what it took on. */
-    public void front(byte number, Front front, Upstream upstream) {
+    public void front(byte number, Frontend front, AttemptSender upstream) {
         fronts.put(number, front);
         attempts.upstream(number, upstream);
     }
@@ -119,7 +120,7 @@
      * the process may call itself ready; {@code untold}: answers that the fronts have yet to tell.
      */
     public void recover(IntSupplier untold, Runnable ready) {
-        List<Stream> back = journal.unfinished(handover.adopted());
+        List<ActiveRequest> back = journal.unfinished(handover.adopted());
         back.forEach(this::takenBack);
         copies.recover();
         journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
@@ -130,7 +131,7 @@
     }
 
     /** One that an earlier process had taken on. */
-    void takenBack(Stream s) {
+    void takenBack(ActiveRequest s) {
         if (s.mayHaveRun) {
             s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
         }
@@ -142,15 +143,15 @@
     }
 
     private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
-        fronts.values().forEach(Front::tell);
+        fronts.values().forEach(Frontend::tell);
         Runnable again = () -> recover(recovery, untold, told, ready);
         if (loop.late()) {
             loop.afterReading(again);
             return;
         }
         long start = clock.now();
-        List<Stream> portion = recovery.next();
-        for (Stream s : portion) {
+        List<ActiveRequest> portion = recovery.next();
+        for (ActiveRequest s : portion) {
             if (streams.get(s.id()) == s) {
                 facade.take(clock.now(), s);
             }
@@ -185,27 +186,27 @@
      * Takes a stream on, or gives its final answer at once: null means taken on, or held already. What ends here
      * is not told to the front again. While the thread is late it is taken on without a decision, which follows.
      */
-    public Answer take(Stream.Message message) {
+    public FinalOutcome take(ActiveRequest.Message message) {
         return take(message, List.of());
     }
 
     /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
-    public Answer take(Stream.Message message, List<String> also) {
+    public FinalOutcome take(ActiveRequest.Message message, List<String> also) {
         if (handover.passedOn()) { // it was not passed on; nothing was taken
-            return Answer.refused(ROOM_AGAIN_NS);
+            return FinalOutcome.refused(ROOM_AGAIN_NS);
         }
-        Answer known = journal.answer(message.id());
+        FinalOutcome known = journal.answer(message.id());
         if (known != null || holds(message.id())) {
             return known;
         }
         if (!message.same().isEmpty() || !also.isEmpty()) {
             known = copies.answerOf(message.same(), also);
-            Stream first = known == null ? copies.first(message.same(), also) : null;
+            ActiveRequest first = known == null ? copies.first(message.same(), also) : null;
             if (known != null || first != null) {
                 return known != null ? known : room() && copies.join(message, first) ? null : turnedAway(message);
             }
         }
-        Stream s = new Stream(message);
+        ActiveRequest s = new ActiveRequest(message);
         if (!facade.serves(clock.now(), message.destination()) || !room() || !journal.taken(message)) {
             return turnedAway(message);
         }
@@ -219,8 +220,8 @@
         return s.answer;
     }
 
-    private Answer turnedAway(Stream.Message message) {
-        Answer answer = Answer.refused(ROOM_AGAIN_NS);
+    private FinalOutcome turnedAway(ActiveRequest.Message message) {
+        FinalOutcome answer = FinalOutcome.refused(ROOM_AGAIN_NS);
         if (message.destination() != NOWHERE) { // that is the program's own, at its start
             figures.ended(message.cls(), answer);
         }
@@ -299,11 +300,11 @@
     }
 
     /** That stream, or null where it is not held or has ended. */
-    Stream stream(String id) {
+    ActiveRequest stream(String id) {
         return streams.get(id);
     }
 
-    java.util.stream.Stream<Stream> streams() {
+    java.util.stream.Stream<ActiveRequest> streams() {
         return streams.values().stream();
     }
 
@@ -355,7 +356,7 @@
         turning = true;
         do { // the next tick is known only after the picking, which may ask for one and do nothing else
             facade.tick(clock.now());
-            for (List<Decision> all = picked(); !all.isEmpty(); all = picked()) {
+            for (List<PolicyDecision> all = picked(); !all.isEmpty(); all = picked()) {
                 all.forEach(this::carryOut);
             }
         } while (facade.next() <= clock.now());
@@ -374,44 +375,44 @@
     }
 
     /** The next decisions, final answers first: nothing that begins is to delay what is owed. */
-    private List<Decision> picked() {
-        List<Decision> ends = new ArrayList<>(), others = new ArrayList<>();
-        for (Decision d = facade.pick(clock.now()); d != null; d = facade.pick(clock.now())) {
-            (d instanceof Decision.End ? ends : others).add(d);
+    private List<PolicyDecision> picked() {
+        List<PolicyDecision> ends = new ArrayList<>(), others = new ArrayList<>();
+        for (PolicyDecision d = facade.pick(clock.now()); d != null; d = facade.pick(clock.now())) {
+            (d instanceof PolicyDecision.End ? ends : others).add(d);
         }
         if (!ends.isEmpty()) {
             ends.forEach(this::carryOut);
-            fronts.values().forEach(Front::tell);
+            fronts.values().forEach(Frontend::tell);
         }
         return others;
     }
 
-    private void carryOut(Decision decision) {
-        if (decision instanceof Decision.Send d) {
-            Stream s = streams.get(d.id());
+    private void carryOut(PolicyDecision decision) {
+        if (decision instanceof PolicyDecision.Send d) {
+            ActiveRequest s = streams.get(d.id());
             if (s != null) {
                 attempts.send(s, d.host(), d.answerBy());
             }
-        } else if (decision instanceof Decision.Abandon d) {
-            Attempts.abandon(streams.get(d.id()), d.attempt());
-        } else if (decision instanceof Decision.End d) {
+        } else if (decision instanceof PolicyDecision.Abandon d) {
+            AttemptTracker.abandon(streams.get(d.id()), d.attempt());
+        } else if (decision instanceof PolicyDecision.End d) {
             end(streams.get(d.id()), d.answer());
-        } else if (decision instanceof Decision.CloseIdle d) {
+        } else if (decision instanceof PolicyDecision.CloseIdle d) {
             attempts.closeIdle(d.host());
-        } else if (decision instanceof Decision.Watch) {
+        } else if (decision instanceof PolicyDecision.Watch) {
             watch.run();
         }
     }
 
-    void end(Stream s, Answer decided) {
+    void end(ActiveRequest s, FinalOutcome decided) {
         if (s == null || s.answer != null) {
             return;
         }
         // with a key, a copy may come as a class that must not run twice: what may have run is not to come again
-        boolean unsure = decided.kind() == Answer.Kind.REFUSED
+        boolean unsure = decided.kind() == FinalOutcome.Kind.REFUSED
                 && s.mayHaveRun
                 && !s.message.same().isEmpty();
-        Answer answer = unsure ? Answer.FAILED : decided;
+        FinalOutcome answer = unsure ? FinalOutcome.FAILED : decided;
         s.answer = answer;
         figures.ended(s.message.cls(), answer);
         streams.remove(s.id());
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -1,9 +1,9 @@
 package elderseam.core;
 
-import elderseam.module.Sender;
-import elderseam.module.Sender.Effect;
-import elderseam.module.Sender.Kind;
-import elderseam.module.Sender.MessageClass;
+import elderseam.policy.Sender;
+import elderseam.policy.Sender.Effect;
+import elderseam.policy.Sender.Kind;
+import elderseam.policy.Sender.MessageClass;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/elderseam/core/SettingsCheck.java
+++ b/src/main/java/elderseam/core/SettingsValidator.java
@@ -9,19 +9,19 @@
  * Every fault of a deployment's settings, a line each: which setting, what is wrong with it, what is allowed. Only what no
  * deployment can mean is a fault; what is absent and has a plain meaning (no such limit, no such price) is none.
  */
-public final class SettingsCheck {
+public final class SettingsValidator {
     private static final double MOST = 9e18; // nanoseconds and counts fit a long
 
     private final SettingsMap settings;
     private final List<String> faults = new ArrayList<>();
 
-    private SettingsCheck(SettingsMap settings) {
+    private SettingsValidator(SettingsMap settings) {
         this.settings = settings;
     }
 
     /** The faults, none where the settings can be used. */
     public static List<String> faults(SettingsMap settings) {
-        SettingsCheck check = new SettingsCheck(settings);
+        SettingsValidator check = new SettingsValidator(settings);
         check.classes();
         check.names("orgs");
         for (int i = 0; i < check.count("orgs"); i++) {
--- a/src/main/java/elderseam/core/RehearsedClock.java
+++ b/src/main/java/elderseam/core/SkewedClock.java
@@ -1,7 +1,7 @@
 package elderseam.core;
 
 /** A clock that runs fast or slow, for rehearsals of a fleet: its rate times true time since the process began, and an offset. */
-public final class RehearsedClock extends Clock {
+public final class SkewedClock extends Clock {
     private final double rate;
     private final long offsetMs, fromNs = System.nanoTime(), fromMs = System.currentTimeMillis();
 
@@ -10,10 +10,10 @@
      * Clock, so that whoever may never ask for one need not load this class: on the platform {@link Clock} has no other kind.
      */
     public static Clock bent(double rate, long offsetMs) {
-        return new RehearsedClock(rate, offsetMs);
+        return new SkewedClock(rate, offsetMs);
     }
 
-    private RehearsedClock(double rate, long offsetMs) {
+    private SkewedClock(double rate, long offsetMs) {
         this.rate = rate;
         this.offsetMs = offsetMs;
     }
--- a/src/main/java/elderseam/core/Lateness.java
+++ b/src/main/java/elderseam/core/StallDetector.java
@@ -6,7 +6,7 @@
  * arrived is read first: an answer that waits in its socket must count before a timer that says there is none. The time
  * away is handed out once, so that calls are not called hung for time in which nobody looked. One thread owns it.
  */
-public final class Lateness {
+public final class StallDetector {
     /** How often the beat is due. */
     public static final long BEAT_NS = 25 * Clock.MS;
     /** Lateness of a beat below this is nothing: timers are in whole milliseconds and one turn may take some. */
@@ -16,7 +16,7 @@
     private boolean late;
     private long away, longest;
 
-    public Lateness(long now) {
+    public StallDetector(long now) {
         due = now + BEAT_NS;
     }
 
--- a/src/main/java/elderseam/fleet/config/Version.java
+++ b/src/main/java/elderseam/fleet/config/ConfigurationVersion.java
@@ -13,7 +13,7 @@
  * {@code effectMs}: when it takes effect, in the table's time; 0 for one that is not committed. Its hash is SHA-256 of the names
  * and texts, in hex.
  */
-public record Version(
+public record ConfigurationVersion(
         @JsonProperty("number") long number,
         @JsonProperty("parent") long parent,
         @JsonProperty("author") String author,
@@ -22,18 +22,19 @@
         @JsonProperty("hash") String hash,
         @JsonProperty("effectMs") long effectMs) {
     /** What a fleet acts on before any version was agreed on: each member's own files. */
-    public static final Version NONE = new Version(0, 0, "", "each member's own files", Map.of(), hash(Map.of()), 0);
+    public static final ConfigurationVersion NONE =
+            new ConfigurationVersion(0, 0, "", "each member's own files", Map.of(), hash(Map.of()), 0);
 
-    public Version {
+    public ConfigurationVersion {
         texts = Map.copyOf(texts);
     }
 
-    static Version of(long number, long parent, String author, String note, Map<String, String> texts) {
-        return new Version(number, parent, author, note, texts, hash(texts), 0);
+    static ConfigurationVersion of(long number, long parent, String author, String note, Map<String, String> texts) {
+        return new ConfigurationVersion(number, parent, author, note, texts, hash(texts), 0);
     }
 
-    Version effective(long atMs) {
-        return new Version(number, parent, author, note, texts, hash, atMs);
+    ConfigurationVersion effective(long atMs) {
+        return new ConfigurationVersion(number, parent, author, note, texts, hash, atMs);
     }
 
     /** In hex; the lengths are in it, so that no two contents share it by moving a boundary. */
--- a/src/main/java/elderseam/fleet/config/VersionRule.java
+++ b/src/main/java/elderseam/fleet/config/VersionActivation.java
@@ -12,24 +12,24 @@
  *
  * <p>Times are nanoseconds of the member's monotonic clock; not thread-safe.
  */
-public final class VersionRule {
+public final class VersionActivation {
     private static final long MS = 1_000_000;
 
     private final long boundNs;
     private final double drift;
-    private Version acting, next;
+    private ConfigurationVersion acting, next;
     private long sureUntil = Long.MIN_VALUE, tableMs, tableAt = Long.MIN_VALUE;
     private boolean behind = true; // the group has committed what this member's own copy of the table has not yet
 
     /** {@code acting}: what it acted on last, in doubt until it is confirmed; {@code boundMs}: T; {@code drift}: of any clock. */
-    public VersionRule(Version acting, long boundMs, double drift) {
+    public VersionActivation(ConfigurationVersion acting, long boundMs, double drift) {
         this.acting = acting;
         this.boundNs = boundMs * MS;
         this.drift = drift;
     }
 
     /** The group answered a confirmation sent at {@code sentNs}: {@code latest} is committed, of which {@code known} is here. */
-    public void confirmed(long sentNs, long nowNs, VersionTable.Outcome o, Version known) {
+    public void confirmed(long sentNs, long nowNs, VersionTable.Outcome o, ConfigurationVersion known) {
         behind = o.latest() != known.number();
         if (behind) {
             return; // it may act on by its earlier word, no longer
@@ -52,7 +52,7 @@
         return false;
     }
 
-    private long effectAt(Version v) {
+    private long effectAt(ConfigurationVersion v) {
         return tableAt + Math.max(0, v.effectMs() - tableMs) * MS;
     }
 
@@ -67,12 +67,12 @@
     }
 
     /** What it acts on, where it is not in doubt; what it acted on last, where it is. */
-    public Version acting() {
+    public ConfigurationVersion acting() {
         return acting;
     }
 
     /** Committed, and not in effect yet; null where there is none. */
-    public Version next() {
+    public ConfigurationVersion next() {
         return next;
     }
 
--- a/src/main/java/elderseam/fleet/config/VersionContent.java
+++ b/src/main/java/elderseam/fleet/config/VersionContent.java
@@ -96,7 +96,7 @@
     }
 
     /** What changes from one version to another, as unified diffs of their texts. */
-    public static List<String> diff(Version a, Version b) {
+    public static List<String> diff(ConfigurationVersion a, ConfigurationVersion b) {
         List<String> all = new ArrayList<>();
         TreeSet<String> names = new TreeSet<>(a.texts().keySet());
         names.addAll(b.texts().keySet());
--- a/src/main/java/elderseam/fleet/config/VersionFolder.java
+++ b/src/main/java/elderseam/fleet/config/VersionStore.java
@@ -15,12 +15,12 @@
  * at them while nothing runs: {@code acting.json}, {@code NUMBER.json} of those committed, and the texts of each as files below {@code
  * NUMBER/}. Each file is written whole or not at all.
  */
-public final class VersionFolder {
+public final class VersionStore {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Path folder;
 
-    public VersionFolder(Path folder) throws IOException {
+    public VersionStore(Path folder) throws IOException {
         this.folder = Files.createDirectories(folder);
     }
 
@@ -31,9 +31,9 @@
     }
 
     /** Keeps these, which are committed, and drops all others with their texts, but for the one acted on. */
-    public void keep(List<Version> committed) throws IOException {
+    public void keep(List<ConfigurationVersion> committed) throws IOException {
         Set<Long> numbers = new HashSet<>(Set.of(acting().number()));
-        for (Version v : committed) {
+        for (ConfigurationVersion v : committed) {
             numbers.add(v.number());
             Path file = folder.resolve(v.number() + ".json");
             if (!Files.exists(file)) {
@@ -67,39 +67,39 @@
     }
 
     /** Remembers that this one is acted on from now on. */
-    public void acting(Version v) throws IOException {
+    public void acting(ConfigurationVersion v) throws IOException {
         put(folder.resolve("acting.json"), JSON.writeValueAsBytes(v));
     }
 
-    /** What was acted on last; {@link Version#NONE} where nothing was. A file that can't be read is an error: a guess would be worse. */
-    public Version acting() throws IOException {
+    /** What was acted on last; {@link ConfigurationVersion#NONE} where nothing was. A file that can't be read is an error: a guess would be worse. */
+    public ConfigurationVersion acting() throws IOException {
         Path file = folder.resolve("acting.json");
-        return Files.exists(file) ? read(file) : Version.NONE;
+        return Files.exists(file) ? read(file) : ConfigurationVersion.NONE;
     }
 
-    private static Version read(Path file) throws IOException {
-        Version v = JSON.readValue(Files.readAllBytes(file), Version.class);
-        if (!v.hash().equals(Version.hash(v.texts()))) {
+    private static ConfigurationVersion read(Path file) throws IOException {
+        ConfigurationVersion v = JSON.readValue(Files.readAllBytes(file), ConfigurationVersion.class);
+        if (!v.hash().equals(ConfigurationVersion.hash(v.texts()))) {
             throw new IOException(file + ": its hash is not its content's");
         }
         return v;
     }
 
     /** All that are kept, oldest first. */
-    public List<Version> all() throws IOException {
-        List<Version> all = new ArrayList<>();
+    public List<ConfigurationVersion> all() throws IOException {
+        List<ConfigurationVersion> all = new ArrayList<>();
         try (var files = Files.list(folder)) {
             for (Path f : files.filter(p -> p.getFileName().toString().matches("\\d{1,18}\\.json"))
                     .toList()) {
                 all.add(read(f));
             }
         }
-        all.sort(java.util.Comparator.comparingLong(Version::number));
+        all.sort(java.util.Comparator.comparingLong(ConfigurationVersion::number));
         return all;
     }
 
     /** The texts of a version as files below a folder of its own, which is told. */
-    public Path texts(Version v) throws IOException {
+    public Path texts(ConfigurationVersion v) throws IOException {
         Path own = Files.createDirectories(
                 folder.resolve(v.number() + "-" + v.hash().substring(0, 12)));
         for (var e : v.texts().entrySet()) {
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -47,7 +47,10 @@
                 throw new IllegalArgumentException("member '" + member + "': 1 to 64 of A-Z a-z 0-9 . _ - allowed");
             }
             if (op == Op.PROPOSE
-                    && (texts == null || Version.size(texts) > MOST || note == null || note.length() > MOST_NOTE)) {
+                    && (texts == null
+                            || ConfigurationVersion.size(texts) > MOST
+                            || note == null
+                            || note.length() > MOST_NOTE)) {
                 throw new IllegalArgumentException(
                         "a version has at most " + MOST + " characters, and a note " + MOST_NOTE);
             }
@@ -88,7 +91,7 @@
 
     /** A proposal that is looked at, and what was found: by member, empty for nothing. */
     public record Pending(
-            @JsonProperty("version") Version version,
+            @JsonProperty("version") ConfigurationVersion version,
             @JsonProperty("members") int members,
             @JsonProperty("boundMs") long boundMs,
             @JsonProperty("leadMs") long leadMs,
@@ -104,7 +107,7 @@
     /** The most characters of a version, as one entry of the log holds; of a note; versions that are kept. */
     public static final int MOST = 40_000, MOST_NOTE = 200, KEPT = 12;
 
-    private final TreeMap<Long, Version> committed = new TreeMap<>();
+    private final TreeMap<Long, ConfigurationVersion> committed = new TreeMap<>();
     private final Map<String, Long> confirmed =
             new LinkedHashMap<>(); // by member: when it last did, in the table's time
     private Pending pending;
@@ -141,12 +144,12 @@
             return "version " + latest().number() + " takes effect in " + (latest().effectMs() - now)
                     + " ms, ask again then";
         }
-        Version v = Version.of(++last, c.number(), c.member(), c.note(), c.texts());
+        ConfigurationVersion v = ConfigurationVersion.of(++last, c.number(), c.member(), c.note(), c.texts());
         pending = new Pending(v, c.members(), c.boundMs(), c.leadMs(), now, new LinkedHashMap<>());
         return "";
     }
 
-    private static boolean asked(Command c, Version v) {
+    private static boolean asked(Command c, ConfigurationVersion v) {
         return v != null
                 && v.number() > 0
                 && v.parent() == c.number()
@@ -198,23 +201,25 @@
         pending = null;
     }
 
-    /** The newest committed one, {@link Version#NONE} before the first. */
-    public Version latest() {
-        return committed.isEmpty() ? Version.NONE : committed.lastEntry().getValue();
+    /** The newest committed one, {@link ConfigurationVersion#NONE} before the first. */
+    public ConfigurationVersion latest() {
+        return committed.isEmpty()
+                ? ConfigurationVersion.NONE
+                : committed.lastEntry().getValue();
     }
 
     /** That committed version, or null. */
-    public Version version(long number) {
-        return number == 0 ? Version.NONE : committed.get(number);
+    public ConfigurationVersion version(long number) {
+        return number == 0 ? ConfigurationVersion.NONE : committed.get(number);
     }
 
     /** All that are kept, oldest first. */
-    public List<Version> all() {
+    public List<ConfigurationVersion> all() {
         return new ArrayList<>(committed.values());
     }
 
     /** The proposal that is looked at, or null. */
-    public Version pending() {
+    public ConfigurationVersion pending() {
         return pending == null ? null : pending.version;
     }
 
@@ -228,7 +233,7 @@
 
     /** All of it, for a snapshot. */
     public record Image(
-            @JsonProperty("committed") List<Version> committed,
+            @JsonProperty("committed") List<ConfigurationVersion> committed,
             @JsonProperty("confirmed") Map<String, Long> confirmed,
             @JsonProperty("pending") Pending pending,
             @JsonProperty("ended") Ended ended,
--- a/src/main/java/elderseam/fleet/lease/OrderDuty.java
+++ b/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
@@ -6,11 +6,11 @@
  * before the certificate they have ends, each orders for itself: the lease spares orders, and never lets a certificate end.
  * No I/O; times are milliseconds of one clock.
  */
-public final class OrderDuty {
+public final class CertificateOrderTask {
     private final long patienceMs;
     private long silentSince = -1;
 
-    public OrderDuty(long patienceMs) {
+    public CertificateOrderTask(long patienceMs) {
         this.patienceMs = patienceMs;
     }
 
--- a/src/main/java/elderseam/fleet/lease/Fence.java
+++ b/src/main/java/elderseam/fleet/lease/FencingTokenCheck.java
@@ -8,7 +8,7 @@
  * is refused. A holder that was stalled past its lease and acts on waking is stopped here, whatever its own clock told it.
  * Not thread-safe: the resource's one thread owns it.
  */
-public final class Fence {
+public final class FencingTokenCheck {
     private final Map<String, Long> newest = new HashMap<>();
 
     /** Whether the act of {@code token} on {@code name} may take effect; taking it raises the name's newest token. */
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -1,7 +1,7 @@
 package elderseam.fleet.lease;
 
 import elderseam.fleet.config.VersionTable;
-import elderseam.http.Lean;
+import elderseam.http.XnioStartup;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -78,7 +78,7 @@
     }
 
     private final RaftServer server;
-    private final LeaseMachine machine;
+    private final LeaseStateMachine machine;
     private final RaftGroup founding;
     private final RaftProperties properties;
     private final String holder;
@@ -89,7 +89,7 @@
 
     private LeaseGroup(
             RaftServer server,
-            LeaseMachine machine,
+            LeaseStateMachine machine,
             RaftGroup founding,
             RaftProperties properties,
             String self,
@@ -124,11 +124,11 @@
             long electionMs,
             String life,
             LongSupplier clock,
-            LeaseMachine.Watch watch,
+            LeaseStateMachine.Watch watch,
             long snapshotEvery) {}
 
     public static LeaseGroup start(Opening o) throws IOException {
-        Lean.manageable();
+        XnioStartup.manageable();
         RaftGroup group = group(o.fleet(), o.peers());
         RaftProperties properties = properties(o.electionMs(), o.snapshotEvery());
         NettyConfigKeys.Server.setPort(properties, o.listen().getPort());
@@ -138,7 +138,7 @@
         RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
         boolean kept = Files.isDirectory(
                 o.folder().resolve(group.getGroupId().getUuid().toString()));
-        LeaseMachine machine = new LeaseMachine(o.clock(), o.watch());
+        LeaseStateMachine machine = new LeaseStateMachine(o.clock(), o.watch());
         RaftServer server = RaftServer.newBuilder()
                 .setServerId(RaftPeerId.valueOf(o.self()))
                 .setGroup(own)
@@ -302,7 +302,7 @@
     }
 
     /** The versions as this member has them, which may be behind the group's. */
-    public LeaseMachine.Versions versions() {
+    public LeaseStateMachine.Versions versions() {
         return machine.versions();
     }
 
--- a/src/main/java/elderseam/fleet/lease/LeaseHolder.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
@@ -15,13 +15,13 @@
  * One member's thread that gets and keeps the leases of its tasks. Other threads ask {@link #tenure} before each act; the
  * thread itself waits for the group and for nothing else.
  */
-public final class LeaseHolder {
+public final class LeaseRenewer {
     /** Told of each request and of what came of it, on the holder's thread. */
     public interface Events {
-        void asked(String lease, LeaseKeeper.Ask ask, long token);
+        void asked(String lease, LeaseRequestSchedule.Ask ask, long token);
 
         /** {@code outcome} is null where the group gave no answer; {@code tenure} is null where the member holds nothing. */
-        void answered(String lease, LeaseTable.Outcome outcome, Tenure tenure);
+        void answered(String lease, LeaseTable.Outcome outcome, LeaseValidity tenure);
 
         /** The member holds it no longer, by its own will; on whatever thread that was. */
         void released(String lease);
@@ -31,20 +31,20 @@
     private final LongSupplier clock;
     private final Events events;
     private final long ttlMs;
-    private final Map<String, LeaseKeeper> keepers = new LinkedHashMap<>();
-    private final Map<String, Tenure> tenures = new ConcurrentHashMap<>();
+    private final Map<String, LeaseRequestSchedule> keepers = new LinkedHashMap<>();
+    private final Map<String, LeaseValidity> tenures = new ConcurrentHashMap<>();
     private final Map<String, Long> others = new ConcurrentHashMap<>(); // until when another holds it
     private final Set<String> wanted = ConcurrentHashMap.newKeySet(), freed = ConcurrentHashMap.newKeySet();
-    private final Tenure.Bounds bounds;
+    private final LeaseValidity.Bounds bounds;
     private final SplittableRandom random;
     private final Thread thread;
     private volatile boolean stopped;
 
-    public LeaseHolder(
+    public LeaseRenewer(
             LeaseGroup group,
             List<String> leases,
             long ttlMs,
-            Tenure.Bounds bounds,
+            LeaseValidity.Bounds bounds,
             SplittableRandom random,
             LongSupplier clock,
             Events events) {
@@ -60,8 +60,8 @@
         thread.start();
     }
 
-    /** The tenure under which an act may begin now, if {@link Tenure#mayAct} agrees; null where the member holds nothing. */
-    public Tenure tenure(String lease) {
+    /** The tenure under which an act may begin now, if {@link LeaseValidity#mayAct} agrees; null where the member holds nothing. */
+    public LeaseValidity tenure(String lease) {
         return tenures.get(lease);
     }
 
@@ -85,7 +85,7 @@
 
     /** Takes up what is newly wanted, and gives back what no longer is. */
     private void heed() {
-        wanted.forEach(l -> keepers.computeIfAbsent(l, n -> new LeaseKeeper(ttlMs, bounds, random.split())));
+        wanted.forEach(l -> keepers.computeIfAbsent(l, n -> new LeaseRequestSchedule(ttlMs, bounds, random.split())));
         for (String lease : List.copyOf(freed)) {
             freed.remove(lease);
             if (keepers.containsKey(lease)) {
@@ -97,7 +97,7 @@
             if (!wanted.contains(lease)) {
                 keepers.remove(lease);
                 others.remove(lease);
-                Tenure held = tenures.remove(lease);
+                LeaseValidity held = tenures.remove(lease);
                 if (held != null) {
                     events.released(lease);
                     group.release(lease, held.token());
@@ -110,9 +110,9 @@
         while (!stopped) {
             heed();
             long wake = Long.MAX_VALUE;
-            for (Map.Entry<String, LeaseKeeper> e : keepers.entrySet()) {
-                LeaseKeeper.Step step = e.getValue().next(clock.getAsLong());
-                if (step.ask() != LeaseKeeper.Ask.NONE && !stopped) {
+            for (Map.Entry<String, LeaseRequestSchedule> e : keepers.entrySet()) {
+                LeaseRequestSchedule.Step step = e.getValue().next(clock.getAsLong());
+                if (step.ask() != LeaseRequestSchedule.Ask.NONE && !stopped) {
                     ask(e.getKey(), e.getValue(), step);
                 }
                 wake = Math.min(wake, e.getValue().next(clock.getAsLong()).atNs());
@@ -121,12 +121,12 @@
         }
     }
 
-    private void ask(String lease, LeaseKeeper keeper, LeaseKeeper.Step step) {
+    private void ask(String lease, LeaseRequestSchedule keeper, LeaseRequestSchedule.Step step) {
         events.asked(lease, step.ask(), step.token());
         long sent = clock.getAsLong(); // before the send: the group stamps later than this
         LeaseTable.Outcome outcome = null;
         try {
-            outcome = (step.ask() == LeaseKeeper.Ask.RENEW
+            outcome = (step.ask() == LeaseRequestSchedule.Ask.RENEW
                             ? group.renew(lease, step.token(), ttlMs)
                             : group.acquire(lease, ttlMs))
                     .get();
@@ -142,7 +142,7 @@
             keeper.answered(sent, clock.getAsLong(), outcome);
         }
         others.put(lease, keeper.othersUntil());
-        Tenure tenure = keeper.tenure();
+        LeaseValidity tenure = keeper.tenure();
         if (tenure == null) {
             tenures.remove(lease);
         } else {
@@ -154,7 +154,7 @@
     /** Acts on nothing any more, and gives back what it holds; done once the group has said so of all. */
     public CompletableFuture<Void> leave() {
         stopped = true;
-        Map<String, Tenure> held = Map.copyOf(tenures);
+        Map<String, LeaseValidity> held = Map.copyOf(tenures);
         tenures.clear();
         held.keySet().forEach(events::released);
         LockSupport.unpark(thread);
--- a/src/main/java/elderseam/fleet/lease/LeaseKeeper.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRequestSchedule.java
@@ -9,7 +9,7 @@
  * <p>A request without an answer may have been granted or not: the tenure that was there runs on to its own end and no
  * further, and the same request again is harmless (the table gives the holder its own lease with the token it had).
  */
-public final class LeaseKeeper {
+public final class LeaseRequestSchedule {
     /** What to ask now; {@code NONE}: nothing before {@code atNs}. */
     public enum Ask {
         NONE("NONE"),
@@ -33,14 +33,14 @@
     private static final long MS = 1_000_000, FIRST_RETRY_NS = 50 * MS;
 
     private final long ttlMs;
-    private final Tenure.Bounds bounds;
+    private final LeaseValidity.Bounds bounds;
     private final SplittableRandom random;
-    private Tenure tenure;
+    private LeaseValidity tenure;
     private long othersUntil = Long.MIN_VALUE;
     private long nextAt = Long.MIN_VALUE, retryNs = FIRST_RETRY_NS;
 
     /** {@code random}: spreads the requests of members that wait for one end. */
-    public LeaseKeeper(long ttlMs, Tenure.Bounds bounds, SplittableRandom random) {
+    public LeaseRequestSchedule(long ttlMs, LeaseValidity.Bounds bounds, SplittableRandom random) {
         this.ttlMs = ttlMs;
         this.bounds = bounds;
         this.random = random;
@@ -57,7 +57,7 @@
     public void answered(long sentNs, long now, LeaseTable.Outcome outcome) {
         retryNs = FIRST_RETRY_NS;
         if (outcome.granted()) {
-            tenure = Tenure.of(outcome, sentNs, ttlMs, bounds);
+            tenure = LeaseValidity.of(outcome, sentNs, ttlMs, bounds);
             othersUntil = Long.MIN_VALUE;
             nextAt = tenure.renewByNs();
             return;
@@ -83,7 +83,7 @@
     }
 
     /** The present tenure, over or not; null where the last word of the group was a refusal, or there was none. */
-    public Tenure tenure() {
+    public LeaseValidity tenure() {
         return tenure;
     }
 
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
@@ -1,6 +1,6 @@
 package elderseam.fleet.lease;
 
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionTable;
 import java.io.File;
 import java.io.IOException;
@@ -34,9 +34,13 @@
  *
  * <p>The engine's one applying thread changes the table; whoever else reads it (a stamp, a snapshot) takes the same lock.
  */
-public final class LeaseMachine extends BaseStateMachine {
+public final class LeaseStateMachine extends BaseStateMachine {
     /** The versions as this member has them applied, which may be behind the group's. */
-    public record Versions(Version latest, Version pending, VersionTable.Ended ended, List<Version> all) {}
+    public record Versions(
+            ConfigurationVersion latest,
+            ConfigurationVersion pending,
+            VersionTable.Ended ended,
+            List<ConfigurationVersion> all) {}
 
     private final LeaseTable table = new LeaseTable();
     private final VersionTable versions = new VersionTable(); // under the table's lock too: one clock stamps both
@@ -65,7 +69,7 @@
      * {@code clock}: the member's monotonic clock in nanoseconds, an argument so that a rehearsal can make it run fast or
      * slow.
      */
-    public LeaseMachine(LongSupplier clock, Watch watch) {
+    public LeaseStateMachine(LongSupplier clock, Watch watch) {
         this.clock = clock;
         this.watch = watch;
     }
@@ -185,7 +189,7 @@
         VersionTable.Outcome outcome;
         boolean news;
         synchronized (table) {
-            Version pending = versions.pending();
+            ConfigurationVersion pending = versions.pending();
             VersionTable.Ended ended = versions.ended();
             outcome = versions.apply(command);
             news = pending != versions.pending() || !ended.equals(versions.ended());
--- a/src/main/java/elderseam/fleet/lease/Tenure.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseValidity.java
@@ -13,7 +13,7 @@
  *
  * <p>Times are nanoseconds of the holder's monotonic clock, given as arguments.
  */
-public record Tenure(long token, long sentNs, long untilNs) {
+public record LeaseValidity(long token, long sentNs, long untilNs) {
     /** The margin of a fleet: no member's clock runs faster or slower than true time by more than this fraction. */
     public record Bounds(double drift) {
         public Bounds {
@@ -24,12 +24,12 @@
     }
 
     /** The tenure of a grant for {@code ttlMs} that was asked for at {@code sentNs}. */
-    public static Tenure of(LeaseTable.Outcome granted, long sentNs, long ttlMs, Bounds bounds) {
+    public static LeaseValidity of(LeaseTable.Outcome granted, long sentNs, long ttlMs, Bounds bounds) {
         if (!granted.granted()) {
             throw new IllegalArgumentException("a tenure needs a granted lease");
         }
         double sureMs = ttlMs * (1 - bounds.drift()) / (1 + bounds.drift());
-        return new Tenure(granted.token(), sentNs, sentNs + (long) (sureMs * 1_000_000));
+        return new LeaseValidity(granted.token(), sentNs, sentNs + (long) (sureMs * 1_000_000));
     }
 
     /** Whether an act that ends by {@code endNs} may begin at {@code nowNs}: the whole act ends before the term does. */
--- a/src/main/java/elderseam/fleet/lease/Duty.java
+++ b/src/main/java/elderseam/fleet/lease/LeasedTask.java
@@ -6,12 +6,12 @@
  * majority, a holder that is cut off from what the task is about), each does it for itself as if there were no fleet: the
  * lease spares work, and never stands in its way. No I/O; times are nanoseconds of the member's clock.
  */
-public final class Duty {
+public final class LeasedTask {
     private final long staleNs;
     private long heardAt;
     private boolean heard;
 
-    public Duty(long staleNs) {
+    public LeasedTask(long staleNs) {
         this.staleNs = staleNs;
     }
 
--- a/src/main/java/elderseam/fleet/lease/TrialDuty.java
+++ b/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
@@ -8,7 +8,7 @@
  * until that one has published that the destination is back. A holder that has nothing to try with (its breaker is ready for
  * a trial, and none goes out) gives the lease up for a while. Where the group says nothing each tries for itself.
  */
-public final class TrialDuty {
+public final class RecoveryProbeTask {
     /** What to do now. {@code wants}: to hold the lease; {@code defers}: no trial of its own yet; {@code tells}: publish that it is back. */
     public record Turn(boolean wants, boolean defers, boolean tells) {}
 
@@ -24,7 +24,7 @@
     private boolean open, told, back;
 
     /** {@code idleNs}: so long a holder may be ready for a trial without one's outcome; {@code pauseNs}: then it does not want the lease. */
-    public TrialDuty(long idleNs, long pauseNs) {
+    public RecoveryProbeTask(long idleNs, long pauseNs) {
         this.idleNs = idleNs;
         this.pauseNs = pauseNs;
     }
--- a/src/main/java/elderseam/fleet/share/Subsets.java
+++ b/src/main/java/elderseam/fleet/partition/EndpointSubsetting.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -21,7 +21,7 @@
  * Thorup and Zadimoghaddam (2018) gave consistent hashing: in the order of their hashes the members take their best endpoints of those
  * that have not had their part yet. The last one is used.
  */
-public final class Subsets {
+public final class EndpointSubsetting {
     public enum Way {
         SRE("sre"),
         RENDEZVOUS("rendezvous"),
@@ -45,7 +45,7 @@
     private static final Hasher64 HASH = Hashing.wyhashFinal4();
     private static final long ORDER = 1; // the members' own order, beside the scores of pairs
 
-    private Subsets() {}
+    private EndpointSubsetting() {}
 
     private static long[] hashes(List<String> names) {
         return names.stream().mapToLong(HASH::hashCharsToLong).toArray();
--- a/src/main/java/elderseam/fleet/share/FleetSize.java
+++ b/src/main/java/elderseam/fleet/partition/FleetSizeEstimator.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import java.util.ArrayDeque;
 
@@ -11,7 +11,7 @@
  * <p>The error: with {@code a} members that came and are not seen yet, and {@code g} that have gone and count still, of {@code n}
  * there, the estimate is {@code n - a + g}. Times are nanoseconds of one monotonic clock.
  */
-public final class FleetSize {
+public final class FleetSizeEstimator {
     private record Seen(long at, int present) {}
 
     private final int told;
@@ -20,7 +20,7 @@
             new ArrayDeque<>(); // falling numbers: each was the greatest since it was seen
 
     /** {@code told}: by the platform or the operator; it counts until something is seen, and is 1 where nobody says. */
-    public FleetSize(int told, long holdNs) {
+    public FleetSizeEstimator(int told, long holdNs) {
         this.told = told;
         this.holdNs = holdNs;
     }
--- a/src/main/java/elderseam/fleet/share/Turns.java
+++ b/src/main/java/elderseam/fleet/partition/TurnSchedule.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
@@ -10,8 +10,8 @@
  * theirs, so it is for tasks that are only dearer when done twice, never for one that must be done once; for those there are
  * leases. What falls out of the turn is whoever is not heard of any more.
  */
-public final class Turns {
-    private Turns() {}
+public final class TurnSchedule {
+    private TurnSchedule() {}
 
     /** Who does it, or null where nobody takes part. */
     public static String owner(String task, Collection<String> taking) {
--- a/src/main/java/elderseam/fleet/share/TurnDuty.java
+++ b/src/main/java/elderseam/fleet/partition/TurnTakingTask.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,11 +9,11 @@
 
 /**
  * Whether a member leaves the trial of a destination whose breaker is open to another, by what the others say of theirs. Those
- * whose breakers are open too take part; the one whose turn it is ({@link Turns}) tries, the others wait until it says that its
+ * whose breakers are open too take part; the one whose turn it is ({@link TurnSchedule}) tries, the others wait until it says that its
  * breaker is closed, or until it takes part no longer: its words have grown old, it has left, or it stood ready for so long
  * without a trial that it has nothing to try with. No I/O; times are nanoseconds of the member's clock.
  */
-public final class TurnDuty {
+public final class TurnTakingTask {
     /** How a breaker stands, a member's own or as it says. */
     public enum Standing {
         CLOSED,
@@ -31,7 +31,7 @@
     private boolean back;
 
     /** {@code task}: the destination's name, the same on all; {@code idleNs}: a member may be ready so long without a trial. */
-    public TurnDuty(String task, String self, long idleNs) {
+    public TurnTakingTask(String task, String self, long idleNs) {
         this.task = task;
         this.self = self;
         this.idleNs = idleNs;
@@ -63,6 +63,6 @@
         }
         readySince.keySet().retainAll(takes);
         took = takes;
-        return !back && !self.equals(Turns.owner(task, taking));
+        return !back && !self.equals(TurnSchedule.owner(task, taking));
     }
 }
--- a/src/main/java/elderseam/fleet/History.java
+++ b/src/main/java/elderseam/fleet/selftest/FaultTestHistory.java
@@ -1,4 +1,4 @@
-package elderseam.fleet;
+package elderseam.fleet.selftest;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.Closeable;
@@ -15,13 +15,13 @@
  * written. Each has {@code at_ns}, the machine's monotonic clock, which all processes of a machine share; {@code wall_ms};
  * {@code process} and {@code type}. Any thread may add.
  */
-public final class History implements Closeable {
+public final class FaultTestHistory implements Closeable {
     private final ObjectMapper json = new ObjectMapper();
     private final FileChannel file;
     private final String process;
 
     /** Appends to {@code file} as {@code process}. */
-    public History(Path file, String process) throws IOException {
+    public FaultTestHistory(Path file, String process) throws IOException {
         this.file = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         this.process = process;
     }
--- a/src/main/java/elderseam/fleet/rig/GossipLease.java
+++ b/src/main/java/elderseam/fleet/selftest/GossipOnlyLease.java
@@ -1,6 +1,5 @@
-package elderseam.fleet.rig;
+package elderseam.fleet.selftest;
 
-import elderseam.fleet.History;
 import java.util.List;
 import java.util.Set;
 
@@ -12,7 +11,7 @@
  * <p>{@code majority}: only while the members that it sees, itself among them, are more than half of the roster. That narrows
  * the time in which two hold it and does not close it: the two sides of a cut notice at different instants.
  */
-public final class GossipLease {
+public final class GossipOnlyLease {
     public static final String NAME = "gossip";
     /** How long one look counts, in nanoseconds of the machine's clock: the next one comes before. */
     public static final long LOOK_NS = 100_000_000L;
@@ -20,13 +19,13 @@
     private final String self, holder;
     private final boolean majority;
     private final int roster;
-    private final History history;
+    private final FaultTestHistory history;
     private boolean
             complete; // all of the roster was seen once: before that a member that starts alone would take it at once
     private long token;
 
     /** {@code life}: which of this member's processes it is; {@code roster}: how many members there are. */
-    public GossipLease(String self, String life, boolean majority, int roster, History history) {
+    public GossipOnlyLease(String self, String life, boolean majority, int roster, FaultTestHistory history) {
         this.self = self;
         this.holder = self + "/" + life;
         this.majority = majority;
@@ -35,7 +34,7 @@
     }
 
     /** Whether a member that sees {@code present} (itself among them) of {@code roster} members believes to hold. */
-    static boolean holds(String self, Set<String> present, int roster, boolean majority) {
+    public static boolean holds(String self, Set<String> present, int roster, boolean majority) {
         return present.stream().allMatch(p -> self.compareTo(p) <= 0) && (!majority || 2 * present.size() > roster);
     }
 
--- a/src/main/java/elderseam/fleet/rig/Acts.java
+++ b/src/main/java/elderseam/fleet/selftest/LeaseWorkload.java
@@ -1,9 +1,8 @@
-package elderseam.fleet.rig;
+package elderseam.fleet.selftest;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.fleet.History;
-import elderseam.fleet.lease.Tenure;
+import elderseam.fleet.lease.LeaseValidity;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -21,27 +20,27 @@
  * its token. An act is some work and then one line to the store; a stall that falls between the look at the tenure and that
  * line makes the late act which only the store's fence can refuse.
  */
-public final class Acts {
+public final class LeaseWorkload {
     private final ObjectMapper json = new ObjectMapper();
     private final InetSocketAddress store;
     private final String holder;
-    private final Function<String, Tenure> tenure;
+    private final Function<String, LeaseValidity> tenure;
     private final long workNs;
     private final LongSupplier clock;
-    private final History history;
+    private final FaultTestHistory history;
     private Socket socket;
     private BufferedReader answers;
     private long acts;
 
     /** {@code clock}: the member's monotonic nanoseconds, as its tenures are counted in. */
-    public Acts(
+    public LeaseWorkload(
             InetSocketAddress store,
             String holder,
             List<String> leases,
-            Function<String, Tenure> tenure,
+            Function<String, LeaseValidity> tenure,
             long workNs,
             LongSupplier clock,
-            History history) {
+            FaultTestHistory history) {
         this.store = store;
         this.holder = holder;
         this.tenure = tenure;
@@ -57,7 +56,7 @@
         while (true) {
             boolean acted = false;
             for (String lease : leases) {
-                Tenure t = tenure.apply(lease);
+                LeaseValidity t = tenure.apply(lease);
                 long now = clock.getAsLong();
                 if (t != null && t.mayAct(now, now + 2 * workNs)) { // the work, and as long again for the store
                     act(lease, t);
@@ -70,7 +69,7 @@
         }
     }
 
-    private void act(String lease, Tenure t) {
+    private void act(String lease, LeaseValidity t) {
         long n = ++acts;
         history.add("act", "lease", lease, "holder", holder, "token", t.token(), "n", n);
         LockSupport.parkNanos(workNs);
@@ -118,7 +117,7 @@
     }
 
     /** Milliseconds of the tenure that are left, at least one: a socket knows no deadline. */
-    private int left(Tenure t) {
+    private int left(LeaseValidity t) {
         return (int) Math.max(1, (t.untilNs() - clock.getAsLong()) / 1_000_000);
     }
 
--- a/src/main/java/elderseam/cloudevents/HeaderText.java
+++ b/src/main/java/elderseam/frontend/cloudevents/AttributeHeaderCodec.java
@@ -1,4 +1,4 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -11,10 +11,10 @@
  * else as it is. In: a double-quoted value is unescaped (RFC 7230, section 3.2.6), then percent-decoded once; octets
  * that are no UTF-8, and characters that an attribute may not hold, are refused.
  */
-final class HeaderText {
+final class AttributeHeaderCodec {
     private static final String HEX = "0123456789ABCDEF";
 
-    private HeaderText() {}
+    private AttributeHeaderCodec() {}
 
     /** {@code value} must be a legal attribute value, as {@link #illegal} tells. */
     static String encode(String value) {
--- a/src/main/java/elderseam/cloudevents/EventUpstream.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -1,36 +1,37 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
-import elderseam.core.Attempt;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
-import elderseam.core.Stream;
-import elderseam.core.Upstream;
-import elderseam.core.UpstreamRequest;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Reply;
-import elderseam.http.UpstreamHost;
+import elderseam.core.EndpointCall;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
 import java.util.function.Function;
 
 /** Delivers events in binary mode to the upstream hosts of their destination. */
-public final class EventUpstream implements Upstream {
-    private final Connections connections;
-    private final Function<String, UpstreamHost> hosts;
+public final class EventAttemptSender implements AttemptSender {
+    private final EndpointConnectionPool connections;
+    private final Function<String, EndpointAddress> hosts;
 
     /** {@code hosts}: by their ids. */
-    public EventUpstream(Connections connections, Function<String, UpstreamHost> hosts) {
+    public EventAttemptSender(EndpointConnectionPool connections, Function<String, EndpointAddress> hosts) {
         this.connections = connections;
         this.hosts = hosts;
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
+    public EndpointCall send(
+            ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
         EventCodec.Outgoing o = EventCodec.outgoing(m.body());
         return connections.send(
                 hosts.apply(host),
-                new Call("POST", "/events", o.headers(), o.payload()),
+                new HttpRequest("POST", "/events", o.headers(), o.payload()),
                 connectBy,
                 answerBy,
                 attempt::mayLeave,
@@ -46,7 +47,7 @@
 
     /** 2xx, be it the first line of a spoilt answer: taken. 429 and 503: turned away unseen, perhaps with a wait. All
      *  else may have taken effect. */
-    static End meaning(Reply r) {
+    static End meaning(HttpResult r) {
         if (r.code() / 100 == 2) {
             return new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
         }
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventCodec.java
@@ -1,13 +1,13 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.http.Server.Request;
-import elderseam.module.Sender;
+import elderseam.http.HttpServer.Request;
+import elderseam.policy.Sender;
 import io.cloudevents.CloudEvent;
 import io.cloudevents.http.HttpMessageFactory;
 import io.cloudevents.jackson.JsonFormat;
@@ -43,8 +43,8 @@
     private static final String BATCH = "application/cloudevents-batch+json", ONE = "application/cloudevents+json";
 
     /** One event of a request: its message, or why there is none. */
-    record Item(String source, String id, Stream.Message message, int code, String fault, CloudEvent event) {
-        Item(String source, String id, Stream.Message message, int code, String fault) {
+    record Item(String source, String id, ActiveRequest.Message message, int code, String fault, CloudEvent event) {
+        Item(String source, String id, ActiveRequest.Message message, int code, String fault) {
             this(source, id, message, code, fault, null);
         }
 
@@ -135,11 +135,11 @@
         if (name.equalsIgnoreCase("ce-datacontenttype")) {
             return "Content-Type tells it";
         }
-        if (!EventRules.isName(name.substring(3).toLowerCase(Locale.ROOT))) {
+        if (!EventValidator.isName(name.substring(3).toLowerCase(Locale.ROOT))) {
             return "no name of an attribute: a to z and 0 to 9";
         }
         try {
-            into.put(name, HeaderText.decode(values.getFirst()));
+            into.put(name, AttributeHeaderCodec.decode(values.getFirst()));
             return "";
         } catch (IllegalArgumentException e) {
             return e.getMessage();
@@ -149,7 +149,7 @@
     private Decoded structured(byte[] body, boolean ruled) {
         try {
             JsonNode event = json.readTree(body);
-            String fault = EventRules.fault(event);
+            String fault = EventValidator.fault(event);
             byte[] told = json.writeValueAsBytes(told(event));
             return fault.isEmpty()
                     ? one(() -> format.deserialize(told), body.length, ruled)
@@ -189,7 +189,7 @@
             }
             for (JsonNode event : list) {
                 byte[] bytes = json.writeValueAsBytes(told(event));
-                String fault = EventRules.fault(event);
+                String fault = EventValidator.fault(event);
                 items.add(
                         !fault.isEmpty()
                                 ? new Item(
@@ -216,7 +216,7 @@
         } catch (RuntimeException e) { // the SDK's faults share no narrower type
             return Item.fault(400, firstLine(e));
         }
-        String source = event.getSource().toString(), fault = EventRules.fault(event);
+        String source = event.getSource().toString(), fault = EventValidator.fault(event);
         return fault.isEmpty()
                 ? message(event, source, event.getId(), ruled)
                 : new Item(source, event.getId(), null, 400, fault);
@@ -264,9 +264,9 @@
         return new Item(
                 source,
                 id,
-                new Stream.Message(
+                new ActiveRequest.Message(
                         identity,
-                        EventFront.NUMBER,
+                        EventFrontend.NUMBER,
                         cls,
                         tenants.indexOf(extension(event, "tenant")),
                         destination.isEmpty() ? -1 : Long.parseLong(destination),
@@ -314,7 +314,7 @@
             out.writeShort(headers.size());
             for (Map.Entry<String, String> h : headers.entrySet()) {
                 out.writeUTF(h.getKey());
-                out.writeUTF(attribute(h.getKey()) ? HeaderText.encode(h.getValue()) : h.getValue());
+                out.writeUTF(attribute(h.getKey()) ? AttributeHeaderCodec.encode(h.getValue()) : h.getValue());
             }
             out.write(payload[0]);
         } catch (IOException e) {
--- a/src/main/java/elderseam/cloudevents/EventConfig.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
@@ -1,7 +1,7 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import elderseam.core.Clock;
-import elderseam.settings.Keys;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.io.Reader;
@@ -16,7 +16,7 @@
  * authority, for which names and where certificates are had. {@code origins} may validate themselves as web hooks, to
  * send at {@code rate} a minute (0: any).
  */
-public record EventConfig(
+public record EventConfiguration(
         String listen,
         long rememberNs,
         String directory,
@@ -25,23 +25,23 @@
         String challenges,
         List<String> origins,
         int rate) {
-    public static EventConfig of(Settings s) {
-        String listen = s.get(Keys.EVENTS_LISTEN), challenges = s.get(Keys.ACME_CHALLENGES);
-        return new EventConfig(
+    public static EventConfiguration of(Settings s) {
+        String listen = s.get(SettingKeys.EVENTS_LISTEN), challenges = s.get(SettingKeys.ACME_CHALLENGES);
+        return new EventConfiguration(
                 listen.equals("off") ? "" : listen,
-                s.get(Keys.EVENTS_REMEMBER_S) * 1_000 * Clock.MS,
-                s.get(Keys.ACME_DIRECTORY),
-                s.get(Keys.ACME_NAMES),
-                Path.of(s.get(Keys.ACME_FOLDER)),
+                s.get(SettingKeys.EVENTS_REMEMBER_S) * 1_000 * Clock.MS,
+                s.get(SettingKeys.ACME_DIRECTORY),
+                s.get(SettingKeys.ACME_NAMES),
+                Path.of(s.get(SettingKeys.ACME_FOLDER)),
                 challenges.equals("off") ? "" : challenges,
-                s.get(Keys.EVENTS_WEBHOOK_ORIGINS).stream()
+                s.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS).stream()
                         .map(o -> o.toLowerCase(Locale.ROOT))
                         .toList(),
-                s.get(Keys.EVENTS_WEBHOOK_RATE).intValue());
+                s.get(SettingKeys.EVENTS_WEBHOOK_RATE).intValue());
     }
 
     /** An events' file as it was before {@code deploy/elderseam.ini}; a file that is not there is off. */
-    public static EventConfig old(Path file) throws IOException {
+    public static EventConfiguration old(Path file) throws IOException {
         Properties p = new Properties();
         if (Files.exists(file)) {
             try (Reader in = Files.newBufferedReader(file)) {
@@ -50,7 +50,7 @@
         }
         String listen = p.getProperty("listen", "off").strip();
         long seconds = Long.parseLong(p.getProperty("remember_s", "3600").strip());
-        return new EventConfig(
+        return new EventConfiguration(
                 listen.equals("off") ? "" : listen,
                 seconds * 1_000 * Clock.MS,
                 p.getProperty("acme.directory", "").strip(),
--- a/src/main/java/elderseam/cloudevents/EventFront.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventFrontend.java
@@ -1,18 +1,18 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import elderseam.core.Answer;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
-import elderseam.core.Front;
-import elderseam.core.Relay;
-import elderseam.core.Rulings;
+import elderseam.core.FinalOutcome;
+import elderseam.core.Frontend;
+import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.http.RequestFacts;
-import elderseam.http.Server.Answerer;
-import elderseam.http.Server.Request;
+import elderseam.http.HttpRequestAttributes;
+import elderseam.http.HttpServer.Answerer;
+import elderseam.http.HttpServer.Request;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +20,7 @@
 import java.util.function.Consumer;
 
 /** CloudEvents over HTTP: the answer to a request is the final answer of its event, or of each event of its batch. */
-public final class EventFront implements Front {
+public final class EventFrontend implements Frontend {
     public static final byte NUMBER = 1;
     public static final int MOST_BODY = EventCodec.MOST_BATCH;
     private static final String PATH = "/events";
@@ -28,7 +28,7 @@
 
     /** What is said of one event. {@code again}: seconds after which a refused one may come again. */
     private record Verdict(int code, String status, long again, String fault) {
-        static Verdict of(Answer answer) {
+        static Verdict of(FinalOutcome answer) {
             return switch (answer.kind()) {
                 case DELIVERED -> new Verdict(200, "delivered", 0, "");
                 case REFUSED ->
@@ -39,23 +39,28 @@
     }
 
     private final ObjectMapper json = new ObjectMapper();
-    private final Relay relay;
+    private final RequestDispatcher relay;
     private final EventCodec codec;
-    private final WebHook webHook;
+    private final WebHookHandshake webHook;
     private final Map<String, List<Consumer<Verdict>>> waiting = new HashMap<>();
-    private Rulings rulings; // null while there are none
+    private AdmissionRules rulings; // null while there are none
     private int waiters;
 
     /** {@code rulings}: the operator's rules, or null. */
-    public EventFront(Clock clock, Relay relay, SettingsMap settings, EventConfig events, Rulings rulings) {
+    public EventFrontend(
+            Clock clock,
+            RequestDispatcher relay,
+            SettingsMap settings,
+            EventConfiguration events,
+            AdmissionRules rulings) {
         this.relay = relay;
         this.rulings = rulings;
         this.codec = new EventCodec(clock, settings, events.rememberNs());
-        this.webHook = new WebHook(events.origins(), events.rate());
+        this.webHook = new WebHookHandshake(events.origins(), events.rate());
     }
 
     /** From the next event on. */
-    public void rulings(Rulings rulings) {
+    public void rulings(AdmissionRules rulings) {
         this.rulings = rulings;
     }
 
@@ -65,7 +70,7 @@
             return;
         }
         if (r.method().equals("OPTIONS")) {
-            WebHook.Reply reply = webHook.answer(r);
+            WebHookHandshake.Reply reply = webHook.answer(r);
             to.answer(reply.code(), reply.headers(), "");
             return;
         }
@@ -100,14 +105,14 @@
             then.accept(new Verdict(503, "refused", 1, "too many requests wait for their answers"));
             return;
         }
-        Rulings.Ruled ruled = rulings == null
+        AdmissionRules.Ruled ruled = rulings == null
                 ? null
-                : rulings.rule(item.message(), new RequestFacts("events", r, item.attributes(), item.data()));
+                : rulings.rule(item.message(), new HttpRequestAttributes("events", r, item.attributes(), item.data()));
         if (ruled != null && !ruled.fault().isEmpty()) {
             then.accept(new Verdict(400, "invalid", 0, ruled.fault()));
             return;
         }
-        Answer answer = ruled == null ? relay.take(item.message()) : ruled.take(relay);
+        FinalOutcome answer = ruled == null ? relay.take(item.message()) : ruled.take(relay);
         if (answer != null) {
             then.accept(Verdict.of(answer));
             return;
@@ -117,7 +122,7 @@
     }
 
     @Override
-    public void ended(Stream.Message message, Answer answer) {
+    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
         relay.told(message.id());
         List<Consumer<Verdict>> told = waiting.remove(message.id());
         if (told != null) {
--- a/src/main/java/elderseam/cloudevents/EventRules.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventValidator.java
@@ -1,4 +1,4 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.cloudevents.CloudEvent;
@@ -11,12 +11,12 @@
  * What CloudEvents 1.0.2 demands of an event and the SDK lets pass: core sections "Naming Conventions", "Type System" and
  * "Context Attributes", JSON format sections 2 and 3. docs/cloudevents.md lists each demand with its test.
  */
-final class EventRules {
+final class EventValidator {
     private static final Set<String> NOT_EXTENSIONS = Set.of("data", "data_base64");
     private static final Pattern NAME = Pattern.compile("[a-z0-9]+"), // once: each event meets them
             MEDIA_TYPE = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+/[!#$%&'*+.^_`|~0-9A-Za-z-]+ *(;[ -~]*)?");
 
-    private EventRules() {}
+    private EventValidator() {}
 
     /** What is wrong with an event that could be read, or nothing. */
     static String fault(CloudEvent event) {
@@ -41,14 +41,15 @@
             return "datacontenttype is no media type";
         }
         for (String name : event.getAttributeNames()) {
-            String fault = HeaderText.illegal(String.valueOf(event.getAttribute(name)));
+            String fault = AttributeHeaderCodec.illegal(String.valueOf(event.getAttribute(name)));
             if (!fault.isEmpty()) {
                 return name + " holds " + fault;
             }
         }
         for (String name : event.getExtensionNames()) {
-            String fault =
-                    name(name).isEmpty() ? HeaderText.illegal(String.valueOf(event.getExtension(name))) : name(name);
+            String fault = name(name).isEmpty()
+                    ? AttributeHeaderCodec.illegal(String.valueOf(event.getExtension(name)))
+                    : name(name);
             if (!fault.isEmpty()) {
                 return "extension " + name + " holds " + fault;
             }
--- a/src/main/java/elderseam/cloudevents/WebHook.java
+++ b/src/main/java/elderseam/frontend/cloudevents/WebHookHandshake.java
@@ -1,6 +1,6 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
-import elderseam.http.Server.Request;
+import elderseam.http.HttpServer.Request;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -11,7 +11,7 @@
  * it may deliver here, and how fast. {@code origins}: who may, by the names that senders give themselves, {@code *} for
  * all; empty: the handshake is off. {@code rate}: requests a minute at most, 0 for any.
  */
-record WebHook(List<String> origins, int rate) {
+record WebHookHandshake(List<String> origins, int rate) {
     /** What is answered, and with which headers. */
     record Reply(int code, Map<String, String> headers) {}
 
--- a/src/main/java/elderseam/platform/Discovery.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -1,16 +1,16 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
 import elderseam.core.Clock;
-import elderseam.core.Json;
-import elderseam.core.Relay;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Reply;
-import elderseam.http.UpstreamHost;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.core.JsonValue;
+import elderseam.core.RequestDispatcher;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
+import elderseam.http.IoLoop;
+import elderseam.policy.Sender;
 import java.io.IOException;
 import java.util.List;
 
@@ -19,23 +19,28 @@
  * has fallen silent is opened anew at once, since what it misses counts as told from 6 s after it fell silent; a call that
  * fails otherwise is told as such, and the module says when to ask again.
  */
-public final class Discovery {
+public final class DiscoveryWatcher {
     private static final long WAIT_MS = 3_500; // a silent discovery shows after this
     private static final long ANSWER_NS =
             1_500 * Clock.MS; // and so much more for the answer: a second is left to ask anew
 
-    private final Io io;
-    private final Connections connections;
-    private UpstreamHost address;
-    private final Hosts hosts;
-    private final Relay relay;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private EndpointAddress address;
+    private final EndpointList hosts;
+    private final RequestDispatcher relay;
     private long version;
     private boolean anew; // a new place has not answered yet: its versions are not those of the old one
     private boolean stopped; // another process watches
-    private Connections.Request out; // the one call under way, or none
+    private EndpointConnectionPool.Request out; // the one call under way, or none
     private Runnable answered = () -> {};
 
-    public Discovery(Io io, Connections connections, UpstreamHost address, Hosts hosts, Relay relay) {
+    public DiscoveryWatcher(
+            IoLoop io,
+            EndpointConnectionPool connections,
+            EndpointAddress address,
+            EndpointList hosts,
+            RequestDispatcher relay) {
         this.io = io;
         this.connections = connections;
         this.address = address;
@@ -44,13 +49,13 @@
     }
 
     /** The list as this dispatcher had it last; it may be old. */
-    public void known(Json list) {
+    public void known(JsonValue list) {
         version = list.at("version").whole(0);
         relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.at("servers"), true));
     }
 
     /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
-    public void takenOver(Json list) {
+    public void takenOver(JsonValue list) {
         anew = true;
         known(list);
     }
@@ -72,7 +77,7 @@
 
     /** What is out counts for nothing, whatever it might still bring. */
     private void drop() {
-        Connections.Request old = out;
+        EndpointConnectionPool.Request old = out;
         out = null;
         if (old != null) {
             old.abandon();
@@ -86,7 +91,7 @@
     }
 
     /** The list as another dispatcher has it from the same discovery; it counts only while this one does not watch. */
-    public void heard(Json list) {
+    public void heard(JsonValue list) {
         if (stopped && list.at("version").whole(0) != version) {
             version = list.at("version").whole(0);
             relay.hosts(Sender.ListKind.WHOLE, hosts.decode(list.at("servers"), true));
@@ -111,7 +116,7 @@
 
     /** Discovery is elsewhere from now on: what is out at the old address counts for nothing, and the new one, whose
      *  versions may be others, is asked for all it has. */
-    public void move(UpstreamHost to) {
+    public void move(EndpointAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -122,9 +127,9 @@
     }
 
     private void ask(String query, long by) {
-        Connections.Request[] own = new Connections.Request[1];
+        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
         own[0] = connections.send(
-                address, Call.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
+                address, HttpRequest.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
                     if (out == own[0]) {
                         out = null;
                         told(reply);
@@ -133,10 +138,10 @@
         out = own[0];
     }
 
-    private void told(Reply reply) {
+    private void told(HttpResult reply) {
         if (reply.answered() && reply.failure() == null && reply.code() == 200) {
             try {
-                Json list = Json.read(reply.body());
+                JsonValue list = JsonValue.read(reply.body());
                 version = list.at("version").whole(version);
                 anew = false;
                 watch();
--- a/src/main/java/elderseam/platform/Hosts.java
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -1,31 +1,31 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
-import elderseam.core.Json;
+import elderseam.core.JsonValue;
 import elderseam.core.SettingsMap;
-import elderseam.http.UpstreamHost;
-import elderseam.module.Sender;
+import elderseam.http.EndpointAddress;
+import elderseam.policy.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
-public final class Hosts {
+public final class EndpointList {
     /** One that is listed. */
-    private record Listed(UpstreamHost host, Sender.Endpoint entry) {}
+    private record Listed(EndpointAddress host, Sender.Endpoint entry) {}
 
     private final Map<String, Listed> listed = new HashMap<>();
     private final List<String> kinds, zones;
 
-    public Hosts(SettingsMap settings) {
+    public EndpointList(SettingsMap settings) {
         this.kinds = settings.list("flavors");
         this.zones = settings.list("localities");
     }
 
     /** That host; one that is not listed has no address. */
-    public UpstreamHost host(String id) {
+    public EndpointAddress host(String id) {
         Listed known = listed.get(id);
-        return known == null ? new UpstreamHost(id, "") : known.host;
+        return known == null ? new EndpointAddress(id, "") : known.host;
     }
 
     /** The hosts of a destination, by their ids. */
@@ -46,12 +46,12 @@
     }
 
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
-    public List<Sender.Endpoint> decode(Json servers, boolean whole) {
+    public List<Sender.Endpoint> decode(JsonValue servers, boolean whole) {
         if (whole) {
             listed.clear();
         }
         List<Sender.Endpoint> entries = new ArrayList<>();
-        for (Json s : servers.items()) {
+        for (JsonValue s : servers.items()) {
             String id = s.at("id").text("");
             Sender.Listing listing = switch (s.at("state").text("")) {
                 case "SERVING" -> Sender.Listing.READY;
@@ -73,7 +73,7 @@
                         id,
                         new Listed(
                                 s.at("addr").told()
-                                        ? new UpstreamHost(id, s.at("addr").text(""))
+                                        ? new EndpointAddress(id, s.at("addr").text(""))
                                         : host(id),
                                 e));
             }
@@ -89,13 +89,13 @@
             Sender.Endpoint e = l.entry;
             text.append(between)
                     .append("{\"id\":")
-                    .append(Json.quoted(e.address()))
+                    .append(JsonValue.quoted(e.address()))
                     .append(",\"addr\":")
-                    .append(Json.quoted(l.host.address()))
+                    .append(JsonValue.quoted(l.host.address()))
                     .append(",\"zone\":")
-                    .append(Json.quoted(zones.get(e.zone())))
+                    .append(JsonValue.quoted(zones.get(e.zone())))
                     .append(",\"kind\":")
-                    .append(Json.quoted(kinds.get(e.kind())))
+                    .append(JsonValue.quoted(kinds.get(e.kind())))
                     .append(",\"cell\":")
                     .append(e.destination())
                     .append(",\"state\":\"")
--- a/src/main/java/elderseam/platform/Notices.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -1,14 +1,14 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
-import elderseam.core.Answer;
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
-import elderseam.core.Relay;
-import elderseam.core.Stream;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Reply;
-import elderseam.http.UpstreamHost;
+import elderseam.core.FinalOutcome;
+import elderseam.core.RequestDispatcher;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
+import elderseam.http.IoLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,7 +20,7 @@
  * Tells the platform how messages taken on have ended, again and again until it says 204; those whose time is up soonest
  * first. Bounded as the messages held are: each is in here once.
  */
-final class Notices {
+final class NotificationSender {
     private static final int MOST = 200; // lines in one call
     private static final long ANSWER_NS = 800 * Clock.MS, AGAIN_NS = 100 * Clock.MS;
 
@@ -32,24 +32,25 @@
         }
     }
 
-    private final Io io;
-    private final Connections connections;
-    private UpstreamHost address;
-    private final Relay relay;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private EndpointAddress address;
+    private final RequestDispatcher relay;
     private final Map<String, Line> owed = new HashMap<>();
     private final TreeSet<Line> byDue = new TreeSet<>(); // the same, what is due soonest first
     private boolean passedOn; // another process tells them
     private boolean out; // a post is under way, or about to be
-    private Connections.Request request;
+    private EndpointConnectionPool.Request request;
 
-    Notices(Io io, Connections connections, UpstreamHost address, Relay relay) {
+    NotificationSender(
+            IoLoop io, EndpointConnectionPool connections, EndpointAddress address, RequestDispatcher relay) {
         this.io = io;
         this.connections = connections;
         this.address = address;
         this.relay = relay;
     }
 
-    void add(Stream.Message m, Answer answer) {
+    void add(ActiveRequest.Message m, FinalOutcome answer) {
         Line line = new Line(m.deadline(), m.id(), line(m.id(), answer));
         Line before = owed.put(m.id(), line);
         if (before != null) {
@@ -67,7 +68,7 @@
     }
 
     /** Notices go elsewhere from now on, those not yet acknowledged at once. */
-    void move(UpstreamHost to) {
+    void move(EndpointAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -83,8 +84,8 @@
         return owed.size();
     }
 
-    private static String line(String id, Answer answer) {
-        return answer.kind() == Answer.Kind.REFUSED
+    private static String line(String id, FinalOutcome answer) {
+        return answer.kind() == FinalOutcome.Kind.REFUSED
                 ? "{\"id\":\"" + id + "\",\"status\":\"deferred\",\"again_ms\":" + answer.againNs() / Clock.MS + "}\n"
                 : "{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n";
     }
@@ -100,7 +101,7 @@
             out = false;
             return;
         }
-        Connections.Request old = request;
+        EndpointConnectionPool.Request old = request;
         request = null;
         if (old != null) {
             old.abandon();
@@ -112,8 +113,9 @@
             lines.append(line.text);
         });
         long by = io.clock.now() + ANSWER_NS;
-        Call post = new Call("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
-        Connections.Request[] own = new Connections.Request[1];
+        HttpRequest post =
+                new HttpRequest("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
+        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
         own[0] = connections.send(address, post, by, by, r -> {
             if (request == own[0]) { // told from a later task, as every answer is
                 told(ids, r);
@@ -122,7 +124,7 @@
         request = own[0];
     }
 
-    private void told(List<String> ids, Reply reply) {
+    private void told(List<String> ids, HttpResult reply) {
         boolean heard = reply.answered() && reply.code() == 204;
         if (heard) {
             ids.forEach(id -> {
@@ -134,7 +136,7 @@
         if (out && heard) {
             post();
         } else if (out) {
-            Connections.Request failed = request;
+            EndpointConnectionPool.Request failed = request;
             io.at(io.clock.now() + AGAIN_NS, () -> {
                 if (request == failed) { // else a move has posted already
                     post();
--- a/src/main/java/elderseam/platform/PlatformUpstream.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -1,32 +1,33 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
-import elderseam.core.Attempt;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
+import elderseam.core.EndpointCall;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.core.Upstream;
-import elderseam.core.UpstreamRequest;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Reply;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
+import elderseam.http.IoLoop;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /** A message as a call to an upstream host, and what its answer means. */
-public final class PlatformUpstream implements Upstream {
+public final class PlatformAttemptSender implements AttemptSender {
     private static final double MOST_WAIT_MS = 600_000, MOST_LIMIT = 1e6; // what is more is no sense
 
-    private final Io io;
-    private final Connections connections;
-    private final Hosts hosts;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private final EndpointList hosts;
     private final List<String> fields;
 
-    public PlatformUpstream(Io io, Connections connections, Hosts hosts, SettingsMap settings) {
+    public PlatformAttemptSender(
+            IoLoop io, EndpointConnectionPool connections, EndpointList hosts, SettingsMap settings) {
         this.io = io;
         this.connections = connections;
         this.hosts = hosts;
@@ -34,7 +35,8 @@
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
+    public EndpointCall send(
+            ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Txn", m.id());
         if (!m.key().isEmpty()) {
@@ -43,7 +45,7 @@
         headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
         return connections.send(
                 hosts.host(host),
-                new Call("POST", "/receive", headers, m.body()),
+                new HttpRequest("POST", "/receive", headers, m.body()),
                 connectBy,
                 answerBy,
                 attempt::mayLeave,
@@ -58,7 +60,7 @@
     }
 
     /** The meaning of an answer. Where it is spoilt, only a first line with 200 counts: it was delivered. */
-    static End meaning(Reply r, List<String> fields) {
+    static End meaning(HttpResult r, List<String> fields) {
         if (!r.answered()) {
             return r.code() == 200
                     ? new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
--- a/src/main/java/elderseam/platform/Config.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
@@ -1,8 +1,8 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
-import elderseam.core.Json;
-import elderseam.core.SettingsCheck;
+import elderseam.core.JsonValue;
 import elderseam.core.SettingsMap;
+import elderseam.core.SettingsValidator;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -14,18 +14,18 @@
 
 /** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
  *  SIGHUP; {@code control}, the second address, may be null. Where both name discovery the file counts, since it may have been replaced. */
-public record Config(
+public record PlatformConfiguration(
         InetSocketAddress listen,
         InetSocketAddress control,
         String discovery,
         Path state,
         long seed,
-        Limits limits,
+        ResourceLimits limits,
         SettingsMap settings,
-        Json known) {
+        JsonValue known) {
 
-    public static Config read(Map<String, String> variables) throws IOException {
-        Json json = Json.read(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
+    public static PlatformConfiguration read(Map<String, String> variables) throws IOException {
+        JsonValue json = JsonValue.read(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
         if (!json.isObject()) {
             throw new IOException("the configuration is no JSON object");
         }
@@ -34,7 +34,7 @@
         address(discovery); // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
         flatten("", json.at("settings"), paths);
-        List<String> faults = SettingsCheck.faults(new SettingsMap(paths));
+        List<String> faults = SettingsValidator.faults(new SettingsMap(paths));
         if (!faults.isEmpty()) {
             throw new IOException(faults.stream()
                     .map(f -> told(variables, "RELAY_CONFIG") + ": settings." + f)
@@ -44,15 +44,15 @@
                 "discovery",
                 "ask"); // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
         long seed = Long.parseUnsignedLong(json.at("seed").text("1"), 16);
-        Json told = json.at("limits");
-        Limits limits = new Limits(
+        JsonValue told = json.at("limits");
+        ResourceLimits limits = new ResourceLimits(
                 (long) (told.at("disk_mb").real(3) * 1_000_000),
                 (int) told.at("sockets").whole(1_024),
                 (int) told.at("memory_mb").whole(192));
         String control = variables.getOrDefault(
                 "RELAY_CONTROL", ""); // a second process has its own, and may find the first one's file
         control = control.isEmpty() ? json.at("control").text("") : control;
-        return new Config(
+        return new PlatformConfiguration(
                 address(told(variables, "RELAY_LISTEN")),
                 control.isEmpty() ? null : address(control),
                 discovery,
@@ -79,7 +79,7 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    private static void flatten(String path, Json node, Map<String, String> into) {
+    private static void flatten(String path, JsonValue node, Map<String, String> into) {
         if (node.isObject()) {
             node.fields().forEach((name, field) -> flatten(path.isEmpty() ? name : path + "." + name, field, into));
         } else if (node.isList()
--- a/src/main/java/elderseam/platform/PlatformFront.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
@@ -1,26 +1,26 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
-import elderseam.core.Answer;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
-import elderseam.core.Front;
+import elderseam.core.FinalOutcome;
+import elderseam.core.Frontend;
 import elderseam.core.Lifecycle;
-import elderseam.core.Relay;
-import elderseam.core.Rulings;
+import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.RequestFacts;
-import elderseam.http.Server.Answerer;
-import elderseam.http.Server.Request;
-import elderseam.http.UpstreamHost;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequestAttributes;
+import elderseam.http.HttpServer.Answerer;
+import elderseam.http.HttpServer.Request;
+import elderseam.http.IoLoop;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /** PROTOCOL's front: a message is answered at once, its end follows as a notice. */
-public final class PlatformFront implements Front {
+public final class PlatformFrontend implements Frontend {
     private static final Pattern ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}"),
             DEST = Pattern.compile("dest=\\d{1,18}"),
             REMAINING = Pattern.compile("\\d{1,12}[mu]"); // once: each message meets them
@@ -31,32 +31,32 @@
     private record Fault(int code, String words) {}
 
     private final Clock clock;
-    private final Relay relay;
-    private final Notices notices;
+    private final RequestDispatcher relay;
+    private final NotificationSender notices;
     private final List<String> classes, tenants;
     private final Lifecycle life;
-    private Rulings rulings; // null while there are none
+    private AdmissionRules rulings; // null while there are none
 
     /** {@code rulings}: the operator's rules, or null. */
-    public PlatformFront(
-            Io io,
-            Connections connections,
-            UpstreamHost platform,
-            Relay relay,
+    public PlatformFrontend(
+            IoLoop io,
+            EndpointConnectionPool connections,
+            EndpointAddress platform,
+            RequestDispatcher relay,
             SettingsMap settings,
-            Rulings rulings,
+            AdmissionRules rulings,
             Lifecycle life) {
         this.life = life;
         this.clock = io.clock;
         this.relay = relay;
         this.rulings = rulings;
-        this.notices = new Notices(io, connections, platform, relay);
+        this.notices = new NotificationSender(io, connections, platform, relay);
         this.classes = settings.names("services");
         this.tenants = settings.names("orgs");
     }
 
     /** From the next message on. */
-    public void rulings(Rulings rulings) {
+    public void rulings(AdmissionRules rulings) {
         this.rulings = rulings;
     }
 
@@ -70,10 +70,10 @@
             to.answer(f.code, Map.of(), f.words + "\n");
             return;
         }
-        Stream.Message message = (Stream.Message) read;
-        Answer answer = rulings == null
+        ActiveRequest.Message message = (ActiveRequest.Message) read;
+        FinalOutcome answer = rulings == null
                 ? relay.take(message)
-                : rulings.rule(message, new RequestFacts("platform", r, Map.of(), r.body()))
+                : rulings.rule(message, new HttpRequestAttributes("platform", r, Map.of(), r.body()))
                         .take(relay);
         if (answer == null) {
             to.answer(202, Map.of(), "");
@@ -117,7 +117,7 @@
             return new Fault(400, "bad Idempotency-Key");
         }
         long deadline = clock.now() + remaining;
-        return new Stream.Message(
+        return new ActiveRequest.Message(
                 id,
                 NUMBER,
                 cls,
@@ -141,8 +141,8 @@
     }
 
     @Override
-    public void ended(Stream.Message message, Answer answer) {
-        if (answer.kind() == Answer.Kind.REFUSED || answer.kind() == Answer.Kind.FAILED) {
+    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
+        if (answer.kind() == FinalOutcome.Kind.REFUSED || answer.kind() == FinalOutcome.Kind.FAILED) {
             notices.add(message, answer);
         }
     }
@@ -158,7 +158,7 @@
     }
 
     /** The platform's place for notices is elsewhere from now on. */
-    public void move(UpstreamHost platform) {
+    public void move(EndpointAddress platform) {
         notices.move(platform);
     }
 
--- a/src/main/java/elderseam/platform/Limits.java
+++ b/src/main/java/elderseam/frontend/platform/ResourceLimits.java
@@ -1,10 +1,10 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
 /**
  * What the process may use, and how it is shared out. Descriptors: the JVM and its files, downstream connections (on the
  * platform clients need a third of all), upstream ones with what is left, and a few for the platform itself.
  */
-public record Limits(long diskBytes, int sockets, int memoryMb) {
+public record ResourceLimits(long diskBytes, int sockets, int memoryMb) {
     private static final int OWN = 56, ACCEPTING = 12; // own: 34 were counted, with one front
     public static final int PLATFORM = 6;
 
--- a/src/main/java/elderseam/platform/Passing.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -1,13 +1,13 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
 import elderseam.core.Clock;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Reply;
-import elderseam.http.Server;
-import elderseam.http.UpstreamHost;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -20,28 +20,28 @@
  * What clients still send to a process that has passed its work on: each request waits until the next process listens, and goes
  * there; its answer comes back. Bounded as the connections of clients are, which carry one request each.
  */
-public final class Passing {
+public final class SuccessorProxy {
     private static final long ANSWER_NS = 2_000 * Clock.MS; // a client waits 0.4 s
     private static final int MOST = 32; // under way at once; descriptors are counted for both processes
     private static final Set<String> OWN =
             Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
 
-    private record Waiting(Server.Request request, Server.Answerer to, long since) {}
+    private record Waiting(HttpServer.Request request, HttpServer.Answerer to, long since) {}
 
-    private final Io io;
-    private final Connections connections;
-    private final UpstreamHost next;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private final EndpointAddress next;
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private boolean open;
     private int out;
 
-    public Passing(Io io, InetSocketAddress listener) {
+    public SuccessorProxy(IoLoop io, InetSocketAddress listener) {
         this.io = io;
-        this.connections = new Connections(io, ANSWER_NS, MOST, 1 << 10);
-        this.next = new UpstreamHost("next", listener.getAddress().getHostAddress() + ":" + listener.getPort());
+        this.connections = new EndpointConnectionPool(io, ANSWER_NS, MOST, 1 << 10);
+        this.next = new EndpointAddress("next", listener.getAddress().getHostAddress() + ":" + listener.getPort());
     }
 
-    public void handle(Server.Request request, Server.Answerer to) {
+    public void handle(HttpServer.Request request, HttpServer.Answerer to) {
         Waiting w = new Waiting(request, to, io.clock.now());
         waiting.add(w);
         passAll();
@@ -60,7 +60,7 @@
     }
 
     /** It never will: they are this process's own again. */
-    public void back(Server.Handler handler) {
+    public void back(HttpServer.Handler handler) {
         List<Waiting> all = List.copyOf(waiting);
         waiting.clear();
         all.forEach(w -> handler.handle(aged(w), w.to));
@@ -72,7 +72,7 @@
     }
 
     private void pass(Waiting w) {
-        Server.Request r = aged(w);
+        HttpServer.Request r = aged(w);
         Map<String, String> headers = new HashMap<>();
         r.headers().forEach(h -> {
             if (!OWN.contains(h.getHeaderName().toString().toLowerCase(Locale.ROOT))) {
@@ -81,7 +81,7 @@
         });
         out++;
         long by = io.clock.now() + ANSWER_NS;
-        connections.send(next, new Call(r.method(), r.path(), headers, r.body()), by, by, reply -> {
+        connections.send(next, new HttpRequest(r.method(), r.path(), headers, r.body()), by, by, reply -> {
             out--;
             answer(reply, w.to);
             passAll();
@@ -89,7 +89,7 @@
     }
 
     /** What may have been taken on there is not refused here: its client, told nothing, asks again under a new id. */
-    private static void answer(Reply reply, Server.Answerer to) {
+    private static void answer(HttpResult reply, HttpServer.Answerer to) {
         if (reply.answered()) {
             String again = reply.header("Retry-After");
             to.answer(
@@ -102,8 +102,8 @@
     }
 
     /** Its time goes on while it waits here. */
-    private Server.Request aged(Waiting w) {
-        long left = PlatformFront.remaining(w.request.header("X-Remaining")), waited = io.clock.now() - w.since;
+    private HttpServer.Request aged(Waiting w) {
+        long left = PlatformFrontend.remaining(w.request.header("X-Remaining")), waited = io.clock.now() - w.since;
         if (left > 0 && waited > Clock.MS) {
             w.request
                     .headers()
--- a/src/main/java/elderseam/gossip/Clocks.java
+++ b/src/main/java/elderseam/gossip/ClockOffsetEstimator.java
@@ -9,7 +9,7 @@
  * clock that was set back is followed within minutes. A member that lies of its clock makes its own claims older or younger,
  * nobody else's.
  */
-final class Clocks {
+final class ClockOffsetEstimator {
     private static final double SLACK = 1e-3;
 
     private record Off(double ms, long at) {}
--- a/src/main/java/elderseam/gossip/Agent.java
+++ b/src/main/java/elderseam/gossip/GossipAgent.java
@@ -18,7 +18,7 @@
  * own claims issued, 20 a second; members by the roster. One thread owns it; {@code now} never runs backwards, {@code wallMs}
  * is the wall clock and may be minutes off.
  */
-public final class Agent {
+public final class GossipAgent {
     /** A packet to an address. */
     public record Outgoing(String to, String address, byte[] bytes) {}
 
@@ -28,7 +28,7 @@
     }
 
     /** How this instance's own breaker for a destination stands. */
-    public record Own(long destination, Claim.State state, int waitMs, int calls, int failures) {}
+    public record Own(long destination, HealthReport.State state, int waitMs, int calls, int failures) {}
 
     private static final int MOST_DESTINATIONS = 256, STATE_CLAIMS = 256;
     private static final int MESSAGE =
@@ -44,22 +44,22 @@
     private static final double CHECKS_PER_S = 40, ISSUES_PER_S = 20;
 
     /** An own claim: what it said last, and when. */
-    private record Issued(Claim.State state, long at) {}
+    private record Issued(HealthReport.State state, long at) {}
 
     private final String self;
     private final int envelope;
     private final long incarnation;
-    private final Trust trust;
+    private final PeerVerifier trust;
     private final Membership membership;
-    private final Claims claims = new Claims(MOST_DESTINATIONS);
-    private final Advice advice = new Advice();
-    private final Ceiling ceiling;
-    private final Spread<Signed> spread = new Spread<>(1_024, Signed::bytes);
-    private final Map<String, Signed> sealed = new HashMap<>(); // as held in claims, by reporter and destination
+    private final HealthReportTable claims = new HealthReportTable(MOST_DESTINATIONS);
+    private final HealthEstimator advice = new HealthEstimator();
+    private final SendRateLimiter ceiling;
+    private final PiggybackQueue<SignedReport> spread = new PiggybackQueue<>(1_024, SignedReport::bytes);
+    private final Map<String, SignedReport> sealed = new HashMap<>(); // as held in claims, by reporter and destination
     private final Map<Long, Issued> issued = new HashMap<>();
-    private final Map<String, Bucket> checks = new HashMap<>();
-    private final Clocks clocks = new Clocks();
-    private final Bucket issues;
+    private final Map<String, TokenBucket> checks = new HashMap<>();
+    private final ClockOffsetEstimator clocks = new ClockOffsetEstimator();
+    private final TokenBucket issues;
     private Set<Long> advised = new HashSet<>();
     private long numbers;
     private final long[] dropped = new long[Drop.values().length];
@@ -85,23 +85,23 @@
         }
     }
 
-    public Agent(
+    public GossipAgent(
             String self,
             String address,
             List<String> seeds,
             long incarnation,
-            Tempo tempo,
-            Ceiling ceiling,
-            Trust trust,
+            GossipTimings tempo,
+            SendRateLimiter ceiling,
+            PeerVerifier trust,
             long now,
             SplittableRandom random,
-            BiConsumer<String, Standing> changed) {
+            BiConsumer<String, MemberState> changed) {
         this.self = self;
         this.envelope = Packet.envelope(self);
         this.incarnation = incarnation;
         this.trust = trust;
         this.ceiling = ceiling;
-        this.issues = new Bucket(ISSUES_PER_S, ISSUES_PER_S, now);
+        this.issues = new TokenBucket(ISSUES_PER_S, ISSUES_PER_S, now);
         this.membership = new Membership(self, address, seeds, incarnation, tempo, now, random, changed);
         membership.tellsToo(() -> spread.subjects() > 0);
     }
@@ -121,8 +121,8 @@
     /** A packet of a member whose name and age were proved; what to answer over a connection, or null. */
     public Packet receive(String from, Packet p, long now, long wallMs, long theirWallMs) {
         clocks.hear(from, theirWallMs, wallMs, now);
-        List<Rumour> allowed = new ArrayList<>(p.rumours().size());
-        for (Rumour r : p.rumours()) {
+        List<MembershipUpdate> allowed = new ArrayList<>(p.rumours().size());
+        for (MembershipUpdate r : p.rumours()) {
             if (r.incarnation() > wallMs + DAY_MS * (r.member().equals(from) ? 2 : 1)) {
                 dropped[Drop.AHEAD.ordinal()]++;
             } else if (r.member().equals(self) || trust.mayBeAt(r.member(), r.address())) {
@@ -131,7 +131,7 @@
                 dropped[Drop.STRANGER.ordinal()]++;
             }
         }
-        for (Signed s : p.claims()) {
+        for (SignedReport s : p.claims()) {
             hear(from, s, now, wallMs);
         }
         if (p.message() instanceof Message.State s) {
@@ -143,25 +143,25 @@
         return null;
     }
 
-    private void hear(String from, Signed s, long now, long wallMs) {
-        Claim c = s.claim();
+    private void hear(String from, SignedReport s, long now, long wallMs) {
+        HealthReport c = s.claim();
         if (c.reporter().equals(self) || !claims.isNews(c)) {
             return;
         }
         if (clocks.ageMs(c.reporter(), s.wallMs(), wallMs) > STALE_MS) {
             dropped[Drop.STALE_CLAIM.ordinal()]++;
-        } else if (!checks.computeIfAbsent(from, f -> new Bucket(CHECKS_PER_S, CHECKS_PER_S, now))
+        } else if (!checks.computeIfAbsent(from, f -> new TokenBucket(CHECKS_PER_S, CHECKS_PER_S, now))
                 .take(1, now)) {
             dropped[Drop.CLAIMS_OVER_RATE.ordinal()]++;
-        } else if (!trust.genuine(c.reporter(), s.key(), Codec.sealed(c, s.wallMs(), s.key()), s.seal())) {
+        } else if (!trust.genuine(c.reporter(), s.key(), PacketCodec.sealed(c, s.wallMs(), s.key()), s.seal())) {
             dropped[Drop.FORGED_CLAIM.ordinal()]++;
         } else if (claims.hear(c, now)) {
             say(s, now);
         }
     }
 
-    private void say(Signed s, long now) {
-        Claim c = s.claim();
+    private void say(SignedReport s, long now) {
+        HealthReport c = s.claim();
         String subject = c.reporter() + " " + c.destination();
         sealed.put(subject, s);
         int confirmed = (int) claims.of(c.destination(), now).stream()
@@ -185,7 +185,7 @@
         Set<Long> about = new HashSet<>();
         for (long destination : claims.destinations(self, now)) {
             Own o = mine.get(destination);
-            List<Claim> others = claims.of(destination, now).stream()
+            List<HealthReport> others = claims.of(destination, now).stream()
                     .filter(c -> !c.reporter().equals(self))
                     .toList();
             int calls = o == null ? 0 : o.calls();
@@ -206,17 +206,17 @@
             for (Own o : mine.values()) {
                 Issued last = issued.get(o.destination());
                 boolean silent =
-                        last == null && (o.state() == Claim.State.CLOSED || issued.size() >= MOST_DESTINATIONS);
+                        last == null && (o.state() == HealthReport.State.CLOSED || issued.size() >= MOST_DESTINATIONS);
                 boolean changed = last == null || last.state != o.state();
                 if (silent
                         || changes != changed
-                        || !changed && (o.state() == Claim.State.CLOSED || now - last.at < AGAIN_NS)) {
+                        || !changed && (o.state() == HealthReport.State.CLOSED || now - last.at < AGAIN_NS)) {
                     continue;
                 }
                 if (!issues.take(1, now)) {
                     return;
                 }
-                Claim c = new Claim(
+                HealthReport c = new HealthReport(
                         self,
                         incarnation,
                         ++numbers,
@@ -227,7 +227,10 @@
                         o.failures(),
                         WINDOW_MS);
                 claims.hear(c, now);
-                say(new Signed(c, wallMs, trust.key(), trust.seal(Codec.sealed(c, wallMs, trust.key()))), now);
+                say(
+                        new SignedReport(
+                                c, wallMs, trust.key(), trust.seal(PacketCodec.sealed(c, wallMs, trust.key()))),
+                        now);
                 issued.put(o.destination(), new Issued(o.state(), now));
             }
         }
@@ -244,15 +247,16 @@
             if (address == null) {
                 continue;
             }
-            List<Rumour> rumours = new ArrayList<>(s.first());
-            List<Signed> said = List.of();
+            List<MembershipUpdate> rumours = new ArrayList<>(s.first());
+            List<SignedReport> said = List.of();
             if (room > 0) {
-                int first = rumours.stream().mapToInt(Rumour::bytes).sum();
+                int first = rumours.stream().mapToInt(MembershipUpdate::bytes).sum();
                 rumours.addAll(membership.along((spread.subjects() > 0 ? room / 2 : room) - first));
-                int left = room - rumours.stream().mapToInt(Rumour::bytes).sum();
+                int left = room
+                        - rumours.stream().mapToInt(MembershipUpdate::bytes).sum();
                 said = spread.take(left, membership.transmits());
             }
-            byte[] bytes = Codec.encode(new Packet(s.message(), rumours, said), Packet.DATAGRAM);
+            byte[] bytes = PacketCodec.encode(new Packet(s.message(), rumours, said), Packet.DATAGRAM);
             if (ceiling.take(bytes.length + envelope, now)) {
                 all.add(new Outgoing(s.to(), address, bytes));
             } else {
@@ -270,14 +274,14 @@
     /** The whole state, as a packet: every member, and the claims that count, newest first, as many as fit. */
     public Packet state(boolean answer, long now) {
         int[] room = {Packet.STATE - envelope - MESSAGE};
-        List<Rumour> members = membership.state().stream()
+        List<MembershipUpdate> members = membership.state().stream()
                 .filter(r -> (room[0] -= r.bytes()) >= 0)
                 .toList();
-        List<Signed> newest = sealed.values().stream()
+        List<SignedReport> newest = sealed.values().stream()
                 .filter(s -> claims.counts(s.claim(), now))
                 .sorted((a, b) -> {
                     int byTime = Long.compare(b.wallMs(), a.wallMs());
-                    return byTime != 0 ? byTime : Claim.AGE.compare(b.claim(), a.claim());
+                    return byTime != 0 ? byTime : HealthReport.AGE.compare(b.claim(), a.claim());
                 })
                 .limit(STATE_CLAIMS)
                 .filter(s -> (room[0] -= s.bytes()) >= 0)
@@ -311,17 +315,17 @@
         return membership;
     }
 
-    public Ceiling ceiling() {
+    public SendRateLimiter ceiling() {
         return ceiling;
     }
 
     /** The claims that count of a destination. */
-    public List<Claim> claims(long destination, long now) {
+    public List<HealthReport> claims(long destination, long now) {
         return claims.of(destination, now);
     }
 
     /** Every claim that is held. */
-    public List<Claim> claims() {
+    public List<HealthReport> claims() {
         return claims.all();
     }
 
--- a/src/main/java/elderseam/gossip/Tempo.java
+++ b/src/main/java/elderseam/gossip/GossipTimings.java
@@ -17,7 +17,7 @@
  * @param forgetNs how long one that is dead or has left is remembered
  * @param localHealth whether Lifeguard's parts are on
  */
-public record Tempo(
+public record GossipTimings(
         long periodNs,
         long ackNs,
         int indirect,
@@ -34,10 +34,10 @@
 
     /** The practice of memberlist on a local network: a period of 1 s, 500 ms for an answer, 3 others, rumours to 3
      *  each 200 ms. */
-    public static final Tempo USUAL =
-            new Tempo(1_000 * MS, 500 * MS, 3, 4, 6, 4, 8, 200 * MS, 3, 30_000 * MS, 120_000 * MS, true);
+    public static final GossipTimings USUAL =
+            new GossipTimings(1_000 * MS, 500 * MS, 3, 4, 6, 4, 8, 200 * MS, 3, 30_000 * MS, 120_000 * MS, true);
 
-    public Tempo {
+    public GossipTimings {
         if (periodNs <= 0
                 || ackNs <= 0
                 || ackNs >= periodNs
@@ -55,8 +55,8 @@
     }
 
     /** The same without Lifeguard's parts. */
-    public Tempo plain() {
-        return new Tempo(
+    public GossipTimings plain() {
+        return new GossipTimings(
                 periodNs,
                 ackNs,
                 indirect,
--- a/src/main/java/elderseam/gossip/Advice.java
+++ b/src/main/java/elderseam/gossip/HealthEstimator.java
@@ -14,7 +14,7 @@
  * claim; it regains what it lost with a time constant of ten minutes. So a member that lies for ever is worth about nothing
  * after a few claims, and one that erred is heard again within the hour.
  */
-public final class Advice {
+public final class HealthEstimator {
     static final double START = 0.8, CONTRADICTED = 0.5;
     static final double REGAIN_NS = 600e9;
     /** Own calls of the last 10 s of which this share was delivered contradict a claim that the destination is down. */
@@ -46,11 +46,11 @@
      * The doubt about a destination: {@code claims} of it that count now, {@code calls} and {@code delivered} of this member's
      * own of the last 10 s.
      */
-    public double doubt(List<Claim> claims, int calls, int delivered, long now) {
+    public double doubt(List<HealthReport> claims, int calls, int delivered, long now) {
         double sum = 0;
         boolean well = calls >= ENOUGH_CALLS && delivered >= WELL * calls;
-        for (Claim c : claims) {
-            if (c.state() != Claim.State.OPEN) {
+        for (HealthReport c : claims) {
+            if (c.state() != HealthReport.State.OPEN) {
                 continue;
             }
             if (well) {
@@ -65,11 +65,11 @@
      * How far what it saw speaks of an outage: nothing below two failures of five calls, all at four of five, with two calls
      * more laid to the other side. Where a third of all calls fail, breakers trip now and then: others are not to follow.
      */
-    static double evidence(Claim c) {
+    static double evidence(HealthReport c) {
         return Math.max(0, Math.min(1, ((double) c.failures() / (c.calls() + 2) - 0.4) / 0.4));
     }
 
-    private void contradict(Claim c, long now) {
+    private void contradict(HealthReport c, long now) {
         double before = worth(c.reporter(), now);
         Worth w = worth.computeIfAbsent(c.reporter(), r -> new Worth());
         if (w.contradicted.size() > 256) {
@@ -86,10 +86,10 @@
      * How many of the fleet will try a destination about now, with this member: those that say open or half open, by worth.
      * The trial of each is spread over so many sleeping windows that all together stay few.
      */
-    public double trying(List<Claim> claims, long now) {
+    public double trying(List<HealthReport> claims, long now) {
         double sum = 1;
-        for (Claim c : claims) {
-            sum += c.state() == Claim.State.CLOSED ? 0 : worth(c.reporter(), now);
+        for (HealthReport c : claims) {
+            sum += c.state() == HealthReport.State.CLOSED ? 0 : worth(c.reporter(), now);
         }
         return sum;
     }
--- a/src/main/java/elderseam/gossip/Claim.java
+++ b/src/main/java/elderseam/gossip/HealthReport.java
@@ -9,7 +9,7 @@
  * @param waitMs how much of a told wait remained when it was issued, 0 for none
  * @param calls calls of the window, of which so many failed
  */
-public record Claim(
+public record HealthReport(
         String reporter,
         long incarnation,
         long number,
@@ -28,15 +28,15 @@
 
     /** Newest last. Two of one number that differ are a fault of their reporter; which counts must not depend on the order in
      *  which they came. */
-    static final Comparator<Claim> AGE = Comparator.comparingLong(Claim::incarnation)
-            .thenComparingLong(Claim::number)
-            .thenComparing(Claim::state)
-            .thenComparingInt(Claim::waitMs)
-            .thenComparingInt(Claim::calls)
-            .thenComparingInt(Claim::failures)
-            .thenComparingInt(Claim::windowMs);
+    static final Comparator<HealthReport> AGE = Comparator.comparingLong(HealthReport::incarnation)
+            .thenComparingLong(HealthReport::number)
+            .thenComparing(HealthReport::state)
+            .thenComparingInt(HealthReport::waitMs)
+            .thenComparingInt(HealthReport::calls)
+            .thenComparingInt(HealthReport::failures)
+            .thenComparingInt(HealthReport::windowMs);
 
-    public Claim {
+    public HealthReport {
         if (reporter.isEmpty() || waitMs < 0 || calls < 0 || failures < 0 || failures > calls || windowMs < 0) {
             throw new IllegalArgumentException(
                     "no claim: " + reporter + " " + waitMs + " " + failures + " of " + calls);
--- a/src/main/java/elderseam/gossip/Claims.java
+++ b/src/main/java/elderseam/gossip/HealthReportTable.java
@@ -14,36 +14,36 @@
  * so by the holder's own clock, counted from when the claim was first heard here; a claim that was held, and a newer number
  * seen, does not come back while {@link #KEEP_NS} last. Bounded by {@code mostOfOne} destinations for each reporter.
  */
-public final class Claims {
+public final class HealthReportTable {
     /** A claim counts for so long at most, whatever it says. */
     public static final long TTL_NS = 10_000_000_000L;
     /** Its number is remembered for so long, against those that come late. */
     public static final long KEEP_NS = 120_000_000_000L;
 
-    private record Held(Claim claim, long heardAt) {}
+    private record Held(HealthReport claim, long heardAt) {}
 
     private final int mostOfOne;
     private final Map<String, Map<Long, Held>> byReporter = new HashMap<>();
 
-    public Claims(int mostOfOne) {
+    public HealthReportTable(int mostOfOne) {
         this.mostOfOne = mostOfOne;
     }
 
     /** Whether it is news. */
-    public boolean hear(Claim c, long now) {
+    public boolean hear(HealthReport c, long now) {
         Map<Long, Held> of = byReporter.computeIfAbsent(c.reporter(), r -> new HashMap<>());
         Held h = of.get(c.destination());
-        if (h != null && Claim.AGE.compare(c, h.claim) <= 0) {
+        if (h != null && HealthReport.AGE.compare(c, h.claim) <= 0) {
             return false;
         }
         if (h == null && of.size() >= mostOfOne) {
             Long oldest = null;
             for (Map.Entry<Long, Held> e : of.entrySet()) {
-                if (oldest == null || Claim.AGE.compare(e.getValue().claim, of.get(oldest).claim) < 0) {
+                if (oldest == null || HealthReport.AGE.compare(e.getValue().claim, of.get(oldest).claim) < 0) {
                     oldest = e.getKey();
                 }
             }
-            if (Claim.AGE.compare(c, of.get(oldest).claim) <= 0) {
+            if (HealthReport.AGE.compare(c, of.get(oldest).claim) <= 0) {
                 return false;
             }
             of.remove(oldest);
@@ -53,23 +53,23 @@
     }
 
     /** What is held of that reporter and destination, or null. */
-    private Held held(Claim c) {
+    private Held held(HealthReport c) {
         return byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
     }
 
     /** Whether {@link #hear} would take it for news, as far as its own number tells. */
-    public boolean isNews(Claim c) {
+    public boolean isNews(HealthReport c) {
         Held h = held(c);
-        return h == null || Claim.AGE.compare(c, h.claim) > 0;
+        return h == null || HealthReport.AGE.compare(c, h.claim) > 0;
     }
 
     /** Whether that very claim is held and counts now. */
-    boolean counts(Claim c, long now) {
+    boolean counts(HealthReport c, long now) {
         return holds(c) && now - held(c).heardAt < TTL_NS;
     }
 
     /** Whether that very claim is held. */
-    boolean holds(Claim c) {
+    boolean holds(HealthReport c) {
         Held h = held(c);
         return h != null && h.claim.equals(c);
     }
@@ -86,8 +86,8 @@
     }
 
     /** The claims that count now, of one destination. */
-    public List<Claim> of(long destination, long now) {
-        List<Claim> found = new ArrayList<>();
+    public List<HealthReport> of(long destination, long now) {
+        List<HealthReport> found = new ArrayList<>();
         byReporter.values().forEach(of -> {
             Held h = of.get(destination);
             if (h != null && now - h.heardAt < TTL_NS) {
@@ -98,14 +98,14 @@
     }
 
     /** What is left of a told wait, as its claim said and by this clock; 0 where it is over. */
-    public long waitNs(Claim c, long now) {
+    public long waitNs(HealthReport c, long now) {
         Held h = held(c);
         return h == null ? 0 : Math.max(0, Math.min(TTL_NS, c.waitMs() * 1_000_000L) - (now - h.heardAt));
     }
 
     /** Every claim that is held, newest of each. */
-    public List<Claim> all() {
-        List<Claim> all = new ArrayList<>();
+    public List<HealthReport> all() {
+        List<HealthReport> all = new ArrayList<>();
         byReporter.values().forEach(of -> of.values().forEach(h -> all.add(h.claim)));
         return all;
     }
--- a/src/main/java/elderseam/gossip/Member.java
+++ b/src/main/java/elderseam/gossip/Member.java
@@ -3,11 +3,11 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** What is held of another member. {@link Roll} owns and changes it. */
+/** What is held of another member. {@link MembershipTable} owns and changes it. */
 final class Member {
     final String name;
     String address;
-    Standing standing = Standing.ALIVE;
+    MemberState standing = MemberState.ALIVE;
     int at; // its place in the roll's list
     long incarnation, since;
     final Set<String> confirmed = new HashSet<>(); // who suspects it
@@ -21,6 +21,6 @@
 
     /** Neither dead nor left. */
     boolean there() {
-        return standing == Standing.ALIVE || standing == Standing.SUSPECT;
+        return standing == MemberState.ALIVE || standing == MemberState.SUSPECT;
     }
 }
--- a/src/main/java/elderseam/gossip/Standing.java
+++ b/src/main/java/elderseam/gossip/MemberState.java
@@ -1,7 +1,7 @@
 package elderseam.gossip;
 
 /** What is held of a member; a later one of the same incarnation outweighs an earlier one. */
-public enum Standing {
+public enum MemberState {
     ALIVE,
     SUSPECT,
     DEAD,
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -16,7 +16,7 @@
  * Lifeguard (Dadgar, Phillips, Currey 2018): a member whose own probes fail or whose helpers are silent takes itself to be
  * the slow one, and probes more slowly; suspicions begin long and shorten with each independent confirmation; a suspect is
  * told so by whoever probes it. The roles of dead and left members, the treatment of a foreign dead one as suspect in a full
- * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist. {@link Roll} holds
+ * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist. {@link MembershipTable} holds
  * what is believed of whom; probes, helpers, rounds of rumours and exchanges are here.
  *
  * <p>Times are nanoseconds that never run backwards. {@link #tick} is to be called at {@link #nextAt}. Bounds: members by
@@ -37,10 +37,10 @@
     private record Relay(String asker, long theirs, long nackAt, long end, boolean[] nacked) {}
 
     private final String self, address;
-    private final Tempo tempo;
+    private final GossipTimings tempo;
     private final SplittableRandom random;
     private final List<String> seeds;
-    private final Roll roll;
+    private final MembershipTable roll;
     private final List<Member> round = new ArrayList<>();
     private final Map<Long, Relay> relays = new TreeMap<>();
     private List<Message.Sent> out = new ArrayList<>();
@@ -60,10 +60,10 @@
             String address,
             List<String> seeds,
             long incarnation,
-            Tempo tempo,
+            GossipTimings tempo,
             long now,
             SplittableRandom random,
-            BiConsumer<String, Standing> changed) {
+            BiConsumer<String, MemberState> changed) {
         this.self = self;
         this.address = address;
         this.seeds = List.copyOf(seeds);
@@ -71,7 +71,7 @@
         this.random = random;
         this.nextSync = now;
         this.nextNews = now;
-        this.roll = new Roll(
+        this.roll = new MembershipTable(
                 self,
                 address,
                 incarnation,
@@ -90,9 +90,9 @@
     }
 
     /** What is held of a member; null of one that is not known. */
-    public Standing standing(String name) {
+    public MemberState standing(String name) {
         Member m = roll.get(name);
-        return name.equals(self) ? left ? Standing.LEFT : Standing.ALIVE : m == null ? null : m.standing;
+        return name.equals(self) ? left ? MemberState.LEFT : MemberState.ALIVE : m == null ? null : m.standing;
     }
 
     // ---------------------------------------------------------------- time
@@ -111,7 +111,7 @@
             at = Math.min(at, nextNews);
         }
         for (Member m : roll.notAlive()) {
-            if (m.standing == Standing.SUSPECT) {
+            if (m.standing == MemberState.SUSPECT) {
                 at = Math.min(at, roll.deadAt(m));
             }
         }
@@ -248,12 +248,12 @@
         out.add(new Message.Sent(
                 m.name,
                 new Message.Ping(number, m.name),
-                m.standing == Standing.SUSPECT ? List.of(roll.of(m)) : List.of()));
+                m.standing == MemberState.SUSPECT ? List.of(roll.of(m)) : List.of()));
     }
 
     private void askOthers() {
         probe.asked = true;
-        for (Member m : some(tempo.indirect(), m -> m.standing == Standing.ALIVE && m != probe.target)) {
+        for (Member m : some(tempo.indirect(), m -> m.standing == MemberState.ALIVE && m != probe.target)) {
             probe.helpers++;
             send(m.name, new Message.PingFor(probe.number, probe.target.name));
         }
@@ -266,7 +266,7 @@
         nextSync = now + (long) (tempo.syncNs() * scale * (0.75 + 0.5 * random.nextDouble()));
         List<Member> present = some(1, Member::there);
         List<String> lost = new ArrayList<>(roll.notAlive().stream()
-                .filter(m -> m.standing == Standing.DEAD)
+                .filter(m -> m.standing == MemberState.DEAD)
                 .map(m -> m.address)
                 .toList());
         seeds.stream()
@@ -323,22 +323,22 @@
     }
 
     /** A rumour that travelled along. */
-    public void hear(Rumour r, long now) {
+    public void hear(MembershipUpdate r, long now) {
         if (!left) {
             roll.hear(r, now);
         }
     }
 
     /** Another's whole state. */
-    public void merge(List<Rumour> state, long now) {
+    public void merge(List<MembershipUpdate> state, long now) {
         if (!left) {
             roll.merge(state, now);
         }
     }
 
     /** The whole state, with this member. */
-    public List<Rumour> state() {
-        return roll.state(left ? Standing.LEFT : Standing.ALIVE);
+    public List<MembershipUpdate> state() {
+        return roll.state(left ? MemberState.LEFT : MemberState.ALIVE);
     }
 
     // ---------------------------------------------------------------- what goes out
@@ -364,7 +364,7 @@
     }
 
     /** Rumours to go along with a message, so many bytes at most. */
-    public List<Rumour> along(int bytes) {
+    public List<MembershipUpdate> along(int bytes) {
         return roll.rumours().take(bytes, tempo.transmits(present()));
     }
 
@@ -389,13 +389,13 @@
     }
 
     /** Every member but this one, as it is held, for those who look. */
-    public List<Rumour> seen() {
+    public List<MembershipUpdate> seen() {
         return roll.all().stream()
-                .map(m -> new Rumour(m.name, m.address, m.standing, m.incarnation, m.name))
+                .map(m -> new MembershipUpdate(m.name, m.address, m.standing, m.incarnation, m.name))
                 .toList();
     }
 
-    /** How ill this member takes itself to be, 0 to {@link Tempo#mostHealth}. */
+    /** How ill this member takes itself to be, 0 to {@link GossipTimings#mostHealth}. */
     public int health() {
         return health;
     }
@@ -407,7 +407,7 @@
 
     /** Says good-bye: to some at once, from whom it travels on; after that nothing is done any more. */
     public void leave() {
-        Rumour goodBye = roll.own(Standing.LEFT);
+        MembershipUpdate goodBye = roll.own(MemberState.LEFT);
         roll.rumours().say(self, goodBye);
         for (Member m : some(tempo.transmits(present()), Member::there)) {
             out.add(new Message.Sent(m.name, new Message.Ping(++numbers, m.name), List.of(goodBye)));
--- a/src/main/java/elderseam/gossip/Roll.java
+++ b/src/main/java/elderseam/gossip/MembershipTable.java
@@ -13,16 +13,17 @@
  * incarnations with Lifeguard's suspicion times. It says on what is news, and defends its own member. No probe and no timer is
  * here; {@link Membership} has those.
  */
-final class Roll {
+final class MembershipTable {
     private static final int MOST_SUBJECTS = 1_024;
 
     private final String self, address;
-    private final Tempo tempo;
-    private final BiConsumer<String, Standing> changed;
+    private final GossipTimings tempo;
+    private final BiConsumer<String, MemberState> changed;
     private final Consumer<Member> joined;
     private final Runnable accused;
     private final Map<String, Member> members = new LinkedHashMap<>(); // not this one
-    private final Spread<Rumour> rumours = new Spread<>(MOST_SUBJECTS, Rumour::bytes);
+    private final PiggybackQueue<MembershipUpdate> rumours =
+            new PiggybackQueue<>(MOST_SUBJECTS, MembershipUpdate::bytes);
     private long incarnation;
     /** The same members, so that one can be drawn; those that wait for something: suspects for their end, others to be forgotten. */
     private final List<Member> list = new ArrayList<>();
@@ -32,12 +33,12 @@
 
     /** {@code joined}: told of each new member before {@code changed} is; {@code accused}: run when this one hears itself
      *  suspected. */
-    Roll(
+    MembershipTable(
             String self,
             String address,
             long incarnation,
-            Tempo tempo,
-            BiConsumer<String, Standing> changed,
+            GossipTimings tempo,
+            BiConsumer<String, MemberState> changed,
             Consumer<Member> joined,
             Runnable accused) {
         this.self = self;
@@ -47,18 +48,18 @@
         this.changed = changed;
         this.joined = joined;
         this.accused = accused;
-        rumours.say(self, own(Standing.ALIVE));
+        rumours.say(self, own(MemberState.ALIVE));
     }
 
     /** What this member says of itself. */
-    Rumour own(Standing standing) {
-        return new Rumour(self, address, standing, incarnation, self);
+    MembershipUpdate own(MemberState standing) {
+        return new MembershipUpdate(self, address, standing, incarnation, self);
     }
 
     /** What this member says of another. */
-    Rumour of(Member m) {
-        String from = m.standing == Standing.SUSPECT || m.standing == Standing.DEAD ? self : m.name;
-        return new Rumour(m.name, m.address, m.standing, m.incarnation, from);
+    MembershipUpdate of(Member m) {
+        String from = m.standing == MemberState.SUSPECT || m.standing == MemberState.DEAD ? self : m.name;
+        return new MembershipUpdate(m.name, m.address, m.standing, m.incarnation, from);
     }
 
     List<Member> all() {
@@ -83,7 +84,7 @@
         return 1 + there;
     }
 
-    Spread<Rumour> rumours() {
+    PiggybackQueue<MembershipUpdate> rumours() {
         return rumours;
     }
 
@@ -96,8 +97,8 @@
     /** Suspicions end, and those long gone are forgotten. */
     void tick(long now) {
         for (Member m : waiting.isEmpty() ? List.<Member>of() : List.copyOf(waiting.values())) {
-            if (m.standing == Standing.SUSPECT && now >= deadAt(m)) {
-                become(m, Standing.DEAD, m.incarnation, now);
+            if (m.standing == MemberState.SUSPECT && now >= deadAt(m)) {
+                become(m, MemberState.DEAD, m.incarnation, now);
                 say(m);
             } else if (!m.there() && now - m.since >= tempo.forgetNs()) {
                 forget(m);
@@ -106,38 +107,39 @@
     }
 
     /** The whole state, with this member as {@code own}. */
-    List<Rumour> state(Standing own) {
-        List<Rumour> all = new ArrayList<>();
+    List<MembershipUpdate> state(MemberState own) {
+        List<MembershipUpdate> all = new ArrayList<>();
         all.add(own(own));
         members.values().forEach(m -> all.add(of(m)));
         return all;
     }
 
     /** Another's whole state; its dead are only suspects here, so that they may speak for themselves. */
-    void merge(List<Rumour> state, long now) {
-        for (Rumour r : state) {
+    void merge(List<MembershipUpdate> state, long now) {
+        for (MembershipUpdate r : state) {
             hear(
-                    r.standing() == Standing.DEAD
-                            ? new Rumour(r.member(), r.address(), Standing.SUSPECT, r.incarnation(), r.from())
+                    r.standing() == MemberState.DEAD
+                            ? new MembershipUpdate(
+                                    r.member(), r.address(), MemberState.SUSPECT, r.incarnation(), r.from())
                             : r,
                     now);
         }
     }
 
-    void hear(Rumour r, long now) {
+    void hear(MembershipUpdate r, long now) {
         Member m = members.get(r.member());
         if (r.member().equals(self)) {
             hearOfSelf(r);
         } else if (m == null) {
             hearOfNew(r, now);
-        } else if (r.standing() == Standing.ALIVE) {
+        } else if (r.standing() == MemberState.ALIVE) {
             if (r.incarnation() > m.incarnation) {
                 m.address = r.address();
-                become(m, Standing.ALIVE, r.incarnation(), now);
+                become(m, MemberState.ALIVE, r.incarnation(), now);
                 say(m);
             }
         } else if (r.incarnation() >= m.incarnation && m.there()) {
-            if (r.standing() == Standing.SUSPECT) {
+            if (r.standing() == MemberState.SUSPECT) {
                 suspect(m, r.incarnation(), r.from(), now);
             } else {
                 become(m, r.standing(), r.incarnation(), now);
@@ -146,8 +148,8 @@
         }
     }
 
-    private void hearOfNew(Rumour r, long now) {
-        if (r.standing() == Standing.DEAD || r.standing() == Standing.LEFT) {
+    private void hearOfNew(MembershipUpdate r, long now) {
+        if (r.standing() == MemberState.DEAD || r.standing() == MemberState.LEFT) {
             return;
         }
         Member m = new Member(r.member(), r.address(), r.incarnation(), now);
@@ -156,48 +158,48 @@
         list.add(m);
         there++;
         joined.accept(m);
-        changed.accept(m.name, Standing.ALIVE);
+        changed.accept(m.name, MemberState.ALIVE);
         say(m);
-        if (r.standing() == Standing.SUSPECT) {
+        if (r.standing() == MemberState.SUSPECT) {
             suspect(m, r.incarnation(), r.from(), now);
         }
     }
 
-    private void hearOfSelf(Rumour r) {
-        boolean wrong = r.standing() != Standing.ALIVE && r.incarnation() >= incarnation
-                || r.standing() == Standing.ALIVE
+    private void hearOfSelf(MembershipUpdate r) {
+        boolean wrong = r.standing() != MemberState.ALIVE && r.incarnation() >= incarnation
+                || r.standing() == MemberState.ALIVE
                         && (r.incarnation() > incarnation
                                 || r.incarnation() == incarnation
                                         && !r.address().equals(address));
         if (wrong) {
             incarnation = r.incarnation() + 1;
-            if (r.standing() == Standing.SUSPECT) {
+            if (r.standing() == MemberState.SUSPECT) {
                 accused.run();
             }
-            rumours.say(self, own(Standing.ALIVE));
+            rumours.say(self, own(MemberState.ALIVE));
         }
     }
 
     /** One more suspects it; the first begins the suspicion, later ones shorten it, as many as count. */
     void suspect(Member m, long atIncarnation, String from, long now) {
-        if (m.standing != Standing.SUSPECT || atIncarnation != m.incarnation) {
-            become(m, Standing.SUSPECT, atIncarnation, now);
+        if (m.standing != MemberState.SUSPECT || atIncarnation != m.incarnation) {
+            become(m, MemberState.SUSPECT, atIncarnation, now);
         } else if (m.confirmed.size() > tempo.expected(present()) || m.confirmed.contains(from)) {
             return;
         }
         m.confirmed.add(from);
-        rumours.say(m.name, new Rumour(m.name, m.address, Standing.SUSPECT, m.incarnation, from));
+        rumours.say(m.name, new MembershipUpdate(m.name, m.address, MemberState.SUSPECT, m.incarnation, from));
     }
 
-    private void become(Member m, Standing standing, long atIncarnation, long now) {
-        Standing before = m.standing;
+    private void become(Member m, MemberState standing, long atIncarnation, long now) {
+        MemberState before = m.standing;
         there -= m.there() ? 1 : 0;
         m.standing = standing;
         there += m.there() ? 1 : 0;
         m.incarnation = atIncarnation;
         m.since = now;
         m.confirmed.clear();
-        if (standing == Standing.ALIVE) {
+        if (standing == MemberState.ALIVE) {
             waiting.remove(m.name);
         } else {
             waiting.put(m.name, m);
--- a/src/main/java/elderseam/gossip/Rumour.java
+++ b/src/main/java/elderseam/gossip/MembershipUpdate.java
@@ -1,7 +1,7 @@
 package elderseam.gossip;
 
 /** What one member says of another, or of itself. {@code from}: who suspects or declares dead; itself otherwise. */
-public record Rumour(String member, String address, Standing standing, long incarnation, String from) {
+public record MembershipUpdate(String member, String address, MemberState standing, long incarnation, String from) {
     private static final int FIXED = 24;
 
     /** Bytes on the wire, at most. */
--- a/src/main/java/elderseam/gossip/Message.java
+++ b/src/main/java/elderseam/gossip/Message.java
@@ -23,5 +23,5 @@
     record State(boolean answer) implements Message {}
 
     /** A message to a member. */
-    record Sent(String to, Message message, List<Rumour> first) {}
+    record Sent(String to, Message message, List<MembershipUpdate> first) {}
 }
--- a/src/main/java/elderseam/gossip/Codec.java
+++ b/src/main/java/elderseam/gossip/PacketCodec.java
@@ -11,10 +11,10 @@
  * Packets as bytes, big-endian; docs/gossip.md has the layout. What can't be read is null and says nothing of why: it comes
  * from whoever could reach the port. Names are 1 to 64 of {@code A-Za-z0-9._-}, addresses up to 64 printable characters.
  */
-public final class Codec {
+public final class PacketCodec {
     private static final int LONGEST = 64, MOST = 4_096; // characters of a name; rumours, and claims, of one packet
 
-    private Codec() {}
+    private PacketCodec() {}
 
     public static byte[] encode(Packet p, int most) {
         ByteBuffer b = ByteBuffer.allocate(most);
@@ -35,14 +35,14 @@
             b.put((byte) 5);
         }
         b.putShort((short) p.rumours().size());
-        for (Rumour r : p.rumours()) {
+        for (MembershipUpdate r : p.rumours()) {
             text(b, r.member());
             text(b, r.address());
             b.put((byte) r.standing().ordinal()).putLong(r.incarnation());
             text(b, r.from());
         }
         b.putShort((short) p.claims().size());
-        for (Signed s : p.claims()) {
+        for (SignedReport s : p.claims()) {
             sealed(b, s.claim(), s.wallMs(), s.key());
             b.put(s.seal());
         }
@@ -52,7 +52,7 @@
     }
 
     /** What a claim's seal is over. */
-    public static byte[] sealed(Claim c, long wallMs, int key) {
+    public static byte[] sealed(HealthReport c, long wallMs, int key) {
         ByteBuffer b = ByteBuffer.allocate(128);
         sealed(b, c, wallMs, key);
         byte[] bytes = new byte[b.position()];
@@ -60,7 +60,7 @@
         return bytes;
     }
 
-    private static void sealed(ByteBuffer b, Claim c, long wallMs, int key) {
+    private static void sealed(ByteBuffer b, HealthReport c, long wallMs, int key) {
         text(b, c.reporter());
         b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte)
                 c.state().ordinal());
@@ -80,7 +80,7 @@
             if (m == null || rumours < 0 || rumours > MOST) {
                 return null;
             }
-            List<Rumour> heard = new ArrayList<>(Math.min(rumours, 64));
+            List<MembershipUpdate> heard = new ArrayList<>(Math.min(rumours, 64));
             for (int i = 0; i < rumours; i++) {
                 String member = name(b), address = address(b);
                 int standing = b.get();
@@ -95,15 +95,15 @@
                         || incarnation > Long.MAX_VALUE / 2) { // outbidding it must not run over
                     return null;
                 }
-                heard.add(new Rumour(member, address, Standing.values()[standing], incarnation, from));
+                heard.add(new MembershipUpdate(member, address, MemberState.values()[standing], incarnation, from));
             }
             int claims = b.getShort();
             if (claims < 0 || claims > MOST) {
                 return null;
             }
-            List<Signed> told = new ArrayList<>(Math.min(claims, 64));
+            List<SignedReport> told = new ArrayList<>(Math.min(claims, 64));
             for (int i = 0; i < claims; i++) {
-                Signed s = claim(b);
+                SignedReport s = claim(b);
                 if (s == null) {
                     return null;
                 }
@@ -143,13 +143,13 @@
         }
     }
 
-    private static Signed claim(ByteBuffer b) {
+    private static SignedReport claim(ByteBuffer b) {
         String reporter = name(b);
         long incarnation = b.getLong(), number = b.getLong(), destination = b.getLong();
         int state = b.get(), wait = b.getInt(), calls = b.getInt(), failures = b.getInt(), window = b.getInt();
         long wall = b.getLong();
         int key = b.getInt();
-        byte[] seal = new byte[Signed.SEAL];
+        byte[] seal = new byte[SignedReport.SEAL];
         b.get(seal);
         if (reporter == null
                 || state < 0
@@ -161,13 +161,13 @@
                 || window < 0) {
             return null;
         }
-        return new Signed(
-                new Claim(
+        return new SignedReport(
+                new HealthReport(
                         reporter,
                         incarnation,
                         number,
                         destination,
-                        Claim.State.values()[state],
+                        HealthReport.State.values()[state],
                         wait,
                         calls,
                         failures,
--- a/src/main/java/elderseam/gossip/Trust.java
+++ b/src/main/java/elderseam/gossip/PeerVerifier.java
@@ -1,7 +1,7 @@
 package elderseam.gossip;
 
 /** What an instance needs to know of keys: who may speak, and whether they did. */
-public interface Trust {
+public interface PeerVerifier {
     /** This instance's key, as others know it; {@link #seal} uses it. */
     int key();
 
--- a/src/main/java/elderseam/gossip/Spread.java
+++ b/src/main/java/elderseam/gossip/PiggybackQueue.java
@@ -14,7 +14,7 @@
  * least goes first, of those the weightiest, then the newest. Bounded by the number of subjects, {@code most}: beyond it what was said most often
  * gives way.
  */
-final class Spread<T> {
+final class PiggybackQueue<T> {
     private static final int LEAST = 24; // bytes: nothing that travels along is shorter
 
     private static final class Entry<T> {
@@ -38,7 +38,7 @@
 
     private long clock;
 
-    Spread(int most, ToIntFunction<T> size) {
+    PiggybackQueue(int most, ToIntFunction<T> size) {
         this.most = most;
         this.size = size;
     }
--- a/src/main/java/elderseam/gossip/Ceiling.java
+++ b/src/main/java/elderseam/gossip/SendRateLimiter.java
@@ -4,13 +4,13 @@
  * The most that this member sends, whatever the fleet's size: two token buckets, of bytes and of datagrams, each a second's
  * worth deep. One thread owns it.
  */
-public final class Ceiling {
-    private final Bucket bytes, datagrams;
+public final class SendRateLimiter {
+    private final TokenBucket bytes, datagrams;
     private long refused;
 
-    public Ceiling(double bytesPerS, double datagramsPerS, long now) {
-        this.bytes = new Bucket(bytesPerS, bytesPerS, now);
-        this.datagrams = new Bucket(datagramsPerS, datagramsPerS, now);
+    public SendRateLimiter(double bytesPerS, double datagramsPerS, long now) {
+        this.bytes = new TokenBucket(bytesPerS, bytesPerS, now);
+        this.datagrams = new TokenBucket(datagramsPerS, datagramsPerS, now);
     }
 
     /** Bytes that one datagram may have now, 0 where none may leave. */
--- a/src/main/java/elderseam/gossip/Bucket.java
+++ b/src/main/java/elderseam/gossip/TokenBucket.java
@@ -1,11 +1,11 @@
 package elderseam.gossip;
 
 /** A token bucket: so much a second, at most {@code depth} at once. One thread owns it. */
-public final class Bucket {
+public final class TokenBucket {
     private double rate, depth, level;
     private long at;
 
-    public Bucket(double rate, double depth, long now) {
+    public TokenBucket(double rate, double depth, long now) {
         if (rate <= 0 || depth <= 0) {
             throw new IllegalArgumentException("a bucket's rate and depth are above 0");
         }
--- a/src/main/java/elderseam/gossip/trust/Ed25519.java
+++ b/src/main/java/elderseam/gossip/security/Ed25519.java
@@ -1,4 +1,4 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import java.security.GeneralSecurityException;
 import java.security.KeyFactory;
--- a/src/main/java/elderseam/gossip/trust/KeyFile.java
+++ b/src/main/java/elderseam/gossip/security/KeyFile.java
@@ -1,4 +1,4 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
--- a/src/main/java/elderseam/gossip/trust/Keyring.java
+++ b/src/main/java/elderseam/gossip/security/Keyring.java
@@ -1,13 +1,13 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
-import elderseam.gossip.Trust;
+import elderseam.gossip.PeerVerifier;
 import inet.ipaddr.AddressStringException;
 import inet.ipaddr.IPAddress;
 import inet.ipaddr.IPAddressString;
 import java.security.PublicKey;
 
 /** This instance's key, and the roster as it is now. */
-public final class Keyring implements Trust {
+public final class Keyring implements PeerVerifier {
     private final KeyFile own;
     private Roster roster;
 
--- a/src/main/java/elderseam/gossip/trust/Door.java
+++ b/src/main/java/elderseam/gossip/security/PacketAuthenticator.java
@@ -1,8 +1,8 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
-import elderseam.gossip.Bucket;
-import elderseam.gossip.Codec;
 import elderseam.gossip.Packet;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.TokenBucket;
 import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -26,7 +26,7 @@
  * <p>Bounds: tokens and windows by the roster; 1,024 sources counted; per member 50 seals checked a second, per instance 400;
  * hellos 2 a second for each member, 50 for all. One thread owns it.
  */
-public final class Door {
+public final class PacketAuthenticator {
     private static final int SEAL = 64, LEAST = Packet.envelope("");
     private static final int MAGIC = 0x45_53_01_00; // "ES", version 1, kind in the last byte
     private static final byte DATA = 1, HELLO = 2;
@@ -71,12 +71,12 @@
         long handed, offered; // the token that counts here, and the one that takes its place once used
         long highest;
         final long[] seen = new long[WINDOW / 64];
-        final Bucket checks, hellos;
+        final TokenBucket checks, hellos;
 
         Peer(RandomGenerator random, long now) {
             sent = random.nextLong() >>> 2; // not to be guessed, nor met in another life
-            checks = new Bucket(CHECKS, 2 * CHECKS, now);
-            hellos = new Bucket(HELLOS, HELLOS, now);
+            checks = new TokenBucket(CHECKS, 2 * CHECKS, now);
+            hellos = new TokenBucket(HELLOS, HELLOS, now);
         }
     }
 
@@ -85,7 +85,7 @@
     private final RandomGenerator random;
     private final Map<String, Peer> peers = new HashMap<>();
     private final long[] drops = new long[Drop.values().length];
-    private final Bucket checks, hellos;
+    private final TokenBucket checks, hellos;
     private final Map<InetAddress, long[]> sources = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -96,12 +96,12 @@
     };
 
     /** {@code random}: one that nobody can guess. */
-    public Door(String self, Keyring keys, RandomGenerator random, long now) {
+    public PacketAuthenticator(String self, Keyring keys, RandomGenerator random, long now) {
         this.self = self;
         this.keys = keys;
         this.random = random;
-        this.checks = new Bucket(ALL_CHECKS, ALL_CHECKS, now);
-        this.hellos = new Bucket(ALL_HELLOS, ALL_HELLOS, now);
+        this.checks = new TokenBucket(ALL_CHECKS, ALL_CHECKS, now);
+        this.hellos = new TokenBucket(ALL_HELLOS, ALL_HELLOS, now);
     }
 
     // ---------------------------------------------------------------- out
@@ -206,7 +206,7 @@
         }
         see(p, number);
         b.limit(length - SEAL);
-        Packet packet = Codec.decode(b);
+        Packet packet = PacketCodec.decode(b);
         return packet == null ? drop(Drop.BODY, from) : new Opened(name, packet, theirWall, null);
     }
 
--- a/src/main/java/elderseam/gossip/trust/Roster.java
+++ b/src/main/java/elderseam/gossip/security/Roster.java
@@ -1,6 +1,6 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
-import elderseam.gossip.Codec;
+import elderseam.gossip.PacketCodec;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import inet.ipaddr.AddressStringException;
@@ -80,7 +80,7 @@
         if (words.length < 3 || words.length > 4) {
             return words.length + " words, allowed: NAME CIDR[,CIDR...] KEY [KEY]";
         }
-        if (!Codec.isName(words[0])) {
+        if (!PacketCodec.isName(words[0])) {
             return "'" + words[0] + "' is no name, allowed: 1 to 64 of A-Z a-z 0-9 . _ -";
         }
         String fault = rangesFault(words[1]);
--- a/src/main/java/elderseam/gossip/trust/package-info.java
+++ b/src/main/java/elderseam/gossip/security/package-info.java
@@ -3,4 +3,4 @@
  * the door that opens or drops each datagram. Files are read here, no socket is; time and randomness come in as arguments.
  * Knows {@link elderseam.gossip} and its bytes, and the settings' way to tell faults.
  */
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
--- a/src/main/java/elderseam/gossip/net/Datagrams.java
+++ b/src/main/java/elderseam/gossip/transport/DatagramTransport.java
@@ -1,7 +1,7 @@
-package elderseam.gossip.net;
+package elderseam.gossip.transport;
 
-import elderseam.gossip.Bucket;
-import elderseam.http.Io;
+import elderseam.gossip.TokenBucket;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -14,7 +14,7 @@
  * The datagram socket. A pass over the sockets reads 32 at most, so that a flood leaves the thread to the others, and a second
  * 4,000: above that it is not looked at for a while, and the kernel drops what does not fit its buffer.
  */
-final class Datagrams implements AutoCloseable {
+final class DatagramTransport implements AutoCloseable {
     /** What arrives; the bytes are lent for the call. */
     interface Reader {
         void read(InetSocketAddress from, byte[] bytes, int length);
@@ -23,18 +23,18 @@
     private static final int A_PASS = 32, A_SECOND = 4_000, LONGEST = 2_048;
     private static final long REST_NS = 20_000_000L;
 
-    private final Io io;
+    private final IoLoop io;
     private final MulticastMessageChannel channel;
     private final Reader reader;
-    private final Bucket pace;
+    private final TokenBucket pace;
     private final ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
     private final SocketAddressBuffer address = new SocketAddressBuffer();
     private long rests, unsent;
 
-    Datagrams(Io io, InetSocketAddress at, Reader reader) throws IOException {
+    DatagramTransport(IoLoop io, InetSocketAddress at, Reader reader) throws IOException {
         this.io = io;
         this.reader = reader;
-        this.pace = new Bucket(A_SECOND, A_SECOND / 4.0, io.clock.now());
+        this.pace = new TokenBucket(A_SECOND, A_SECOND / 4.0, io.clock.now());
         this.channel =
                 io.worker().createUdpServer(at, (ChannelListener<MulticastMessageChannel>) null, OptionMap.EMPTY);
         channel.getReadSetter().set(this::readable);
--- a/src/main/java/elderseam/gossip/net/Post.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -1,17 +1,17 @@
-package elderseam.gossip.net;
+package elderseam.gossip.transport;
 
-import elderseam.gossip.Agent;
-import elderseam.gossip.Ceiling;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Codec;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.MemberState;
+import elderseam.gossip.MembershipUpdate;
 import elderseam.gossip.Packet;
-import elderseam.gossip.Rumour;
-import elderseam.gossip.Standing;
-import elderseam.gossip.Tempo;
-import elderseam.gossip.trust.Door;
-import elderseam.gossip.trust.Keyring;
-import elderseam.gossip.trust.Roster;
-import elderseam.http.Io;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.SendRateLimiter;
+import elderseam.gossip.security.Keyring;
+import elderseam.gossip.security.PacketAuthenticator;
+import elderseam.gossip.security.Roster;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -28,7 +28,7 @@
  * One instance on its sockets: what comes goes through the door to the agent, what the agent sends through the door to the
  * sockets; four times a second the agent looks at the own breakers. Owned by the I/O thread.
  */
-public final class Post {
+public final class GossipTransport {
     /** Where and as whom it speaks. {@code advertise}: the address that others are told, empty for the one it listens on. */
     public record Place(
             String name,
@@ -39,41 +39,42 @@
             double datagramsPerS) {}
 
     /** What it needs of the rest: the own breakers, who is told what others say, and where words for the operator go. */
-    public record Ties(Supplier<List<Agent.Own>> own, BiConsumer<Long, Agent.Word> advise, Consumer<String> log) {}
+    public record Ties(
+            Supplier<List<GossipAgent.Own>> own, BiConsumer<Long, GossipAgent.Word> advise, Consumer<String> log) {}
 
     private static final long LOOK_NS = 250_000_000L, COUNTS_NS = 60_000_000_000L;
 
-    private final Io io;
+    private final IoLoop io;
     private final Ties ties;
     private final Keyring keys;
-    private final Door door;
-    private final Datagrams datagrams;
-    private final Exchanges exchanges;
-    private final Agent agent;
+    private final PacketAuthenticator door;
+    private final DatagramTransport datagrams;
+    private final StreamTransport exchanges;
+    private final GossipAgent agent;
     private final Map<String, byte[]> vain = new HashMap<>(); // the last body to each whose token is not known yet
-    private final Map<String, Standing> told = new HashMap<>(); // by name of the roster
+    private final Map<String, MemberState> told = new HashMap<>(); // by name of the roster
     private long tickAt = Long.MAX_VALUE, countsAt, suspicions;
     private String counts = "";
     private boolean closed;
 
     /** Binds both sockets, and begins; a port of 0 takes one that is free for both. */
-    public Post(Io io, Place place, Keyring keys, Tempo tempo, Ties ties) throws IOException {
+    public GossipTransport(IoLoop io, Place place, Keyring keys, GossipTimings tempo, Ties ties) throws IOException {
         this.io = io;
         this.ties = ties;
         this.keys = keys;
         SecureRandom secure = new SecureRandom();
         long now = io.clock.now();
-        this.door = new Door(place.name(), keys, secure, now);
-        this.exchanges = new Exchanges(io, place.listen(), this::read);
-        this.datagrams = new Datagrams(io, exchanges.local(), this::read);
+        this.door = new PacketAuthenticator(place.name(), keys, secure, now);
+        this.exchanges = new StreamTransport(io, place.listen(), this::read);
+        this.datagrams = new DatagramTransport(io, exchanges.local(), this::read);
         String address = place.advertise().isEmpty() ? text(exchanges.local()) : place.advertise();
-        this.agent = new Agent(
+        this.agent = new GossipAgent(
                 place.name(),
                 address,
                 place.seeds(),
                 wallMs(),
                 tempo,
-                new Ceiling(place.bytesPerS(), place.datagramsPerS(), now),
+                new SendRateLimiter(place.bytesPerS(), place.datagramsPerS(), now),
                 keys,
                 now,
                 new SplittableRandom(secure.nextLong()),
@@ -102,8 +103,8 @@
     }
 
     /** Suspicions come and go with lost datagrams, and are counted; a line is for who came and who went. */
-    private void changed(String name, Standing standing) {
-        if (standing == Standing.SUSPECT) {
+    private void changed(String name, MemberState standing) {
+        if (standing == MemberState.SUSPECT) {
             suspicions++;
         } else if (told.put(name, standing) != standing) {
             ties.log().accept(name + " is " + standing);
@@ -117,12 +118,12 @@
         if (closed) {
             return;
         }
-        for (Agent.Outgoing o : agent.sent(now)) {
+        for (GossipAgent.Outgoing o : agent.sent(now)) {
             send(o.to(), address(o.address()), o.bytes());
         }
         for (String with : agent.syncs()) {
             String name = agent.membership().nameAt(with);
-            byte[] body = Codec.encode(agent.state(false, now), Packet.STATE);
+            byte[] body = PacketCodec.encode(agent.state(false, now), Packet.STATE);
             exchanges.open(address(with), name, body, (to, b) -> door.seal(to, b, wallMs(), io.clock.now()));
         }
         long next = agent.nextAt();
@@ -166,7 +167,7 @@
 
     private void read(InetSocketAddress from, byte[] bytes, int length) {
         long now = io.clock.now();
-        Door.Opened o = door.open(from.getAddress(), bytes, length, Packet.DATAGRAM, wallMs(), now);
+        PacketAuthenticator.Opened o = door.open(from.getAddress(), bytes, length, Packet.DATAGRAM, wallMs(), now);
         if (o.back() != null) {
             if (agent.ceiling().take(o.back().length, now)) {
                 datagrams.send(from, o.back());
@@ -184,15 +185,16 @@
 
     // ---------------------------------------------------------------- full exchanges
 
-    private void read(Exchanges.Line line, byte[] bytes) {
+    private void read(StreamTransport.Line line, byte[] bytes) {
         long now = io.clock.now();
-        Door.Opened o = door.open(line.peer().getAddress(), bytes, bytes.length, Packet.STATE, wallMs(), now);
+        PacketAuthenticator.Opened o =
+                door.open(line.peer().getAddress(), bytes, bytes.length, Packet.STATE, wallMs(), now);
         if (o.back() != null) {
             line.send(o.back());
         } else if (o.packet() != null) {
             Packet answer = agent.receive(o.from(), o.packet(), now, wallMs(), o.wallMs());
             if (answer != null) {
-                line.owes = Codec.encode(answer, Packet.STATE);
+                line.owes = PacketCodec.encode(answer, Packet.STATE);
                 line.send(door.seal(o.from(), line.owes, wallMs(), now));
             } else {
                 line.end();
@@ -243,10 +245,10 @@
         StringBuilder s =
                 new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
         boolean any = false;
-        for (Door.Drop d : Door.Drop.values()) {
+        for (PacketAuthenticator.Drop d : PacketAuthenticator.Drop.values()) {
             any |= add(s, d.wireName(), door.dropped(d));
         }
-        for (Agent.Drop d : Agent.Drop.values()) {
+        for (GossipAgent.Drop d : GossipAgent.Drop.values()) {
             any |= add(s, d.wireName(), agent.dropped(d));
         }
         any |= add(s, "reads put off", datagrams.rests());
@@ -261,16 +263,16 @@
         return n > 0;
     }
 
-    public List<Rumour> members() {
+    public List<MembershipUpdate> members() {
         return agent.membership().seen();
     }
 
     /** The claims of a destination that count yet. */
-    public List<Claim> claims(long destination) {
+    public List<HealthReport> claims(long destination) {
         return agent.claims(destination, io.clock.now());
     }
 
-    public List<Claim> claims() {
+    public List<HealthReport> claims() {
         return agent.claims();
     }
 }
--- a/src/main/java/elderseam/gossip/net/Exchanges.java
+++ b/src/main/java/elderseam/gossip/transport/StreamTransport.java
@@ -1,7 +1,7 @@
-package elderseam.gossip.net;
+package elderseam.gossip.transport;
 
 import elderseam.gossip.Packet;
-import elderseam.http.Io;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -19,7 +19,7 @@
  * Connections that carry envelopes, each after its length in four bytes. Eight at once from outside and four from here, eight
  * envelopes each way, and 5 s from first to last: who hangs holds one of eight for so long.
  */
-final class Exchanges implements AutoCloseable {
+final class StreamTransport implements AutoCloseable {
     /** What is said on a connection. */
     interface Talk {
         /** An envelope came; what it says back goes by {@link Line#send}. */
@@ -34,14 +34,14 @@
             .set(Options.BACKLOG, 16)
             .getMap();
 
-    private final Io io;
+    private final IoLoop io;
     private final Talk talk;
     private final AcceptingChannel<StreamConnection> server;
     private final InetSocketAddress from; // others know this instance by its address
     private int inbound, outbound;
     private long refused, failed;
 
-    Exchanges(Io io, InetSocketAddress at, Talk talk) throws IOException {
+    StreamTransport(IoLoop io, InetSocketAddress at, Talk talk) throws IOException {
         this.io = io;
         this.talk = talk;
         this.server = io.worker()
--- a/src/main/java/elderseam/upgrade/Link.java
+++ b/src/main/java/elderseam/handover/HandoverChannel.java
@@ -1,4 +1,4 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayInputStream;
@@ -24,17 +24,17 @@
  * One connection between two processes of a dispatcher, over a Unix domain socket in the folder that both have. XNIO has no such
  * sockets, so two threads of its own block on it, one for each way, and hand frames over; the I/O thread never waits for it.
  */
-public final class Link {
+public final class HandoverChannel {
     private static final String NAME = "handover";
     private static final int MOST_WAITING = 8_192; // frames to be written; a link that is so far behind is ended
-    private static final Frame END = new Frame.Take(); // ends the writing thread; compared by identity
+    private static final HandoverFrame END = new HandoverFrame.Take(); // ends the writing thread; compared by identity
 
     private final SocketChannel channel;
     private final DataInputStream in;
     private final AtomicInteger unwritten = new AtomicInteger();
-    private final BlockingQueue<Frame> waiting = new LinkedBlockingQueue<>(MOST_WAITING);
+    private final BlockingQueue<HandoverFrame> waiting = new LinkedBlockingQueue<>(MOST_WAITING);
 
-    private Link(SocketChannel channel) {
+    private HandoverChannel(SocketChannel channel) {
         this.channel = channel;
         this.in = new DataInputStream(new BufferedInputStream(Channels.newInputStream(channel)));
         thread("link out", this::write);
@@ -50,19 +50,19 @@
     }
 
     /** To the process that owns the folder, or null where none answers; what a dead one left is nothing. */
-    public static Link connect(Path folder) {
+    public static HandoverChannel connect(Path folder) {
         if (!Files.exists(folder.resolve(NAME))) {
             return null;
         }
         try {
-            return new Link(SocketChannel.open(address(folder)));
+            return new HandoverChannel(SocketChannel.open(address(folder)));
         } catch (IOException e) {
             return null;
         }
     }
 
     /** Takes one link after the other, on a thread of its own; each is handed over, and the next taken once it has ended. */
-    public static ServerSocketChannel listen(Path folder, Consumer<Link> opened) throws IOException {
+    public static ServerSocketChannel listen(Path folder, Consumer<HandoverChannel> opened) throws IOException {
         Files.deleteIfExists(
                 address(folder).getPath()); // the lock is held: it is of a dead process, or of one that has given
         ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
@@ -71,7 +71,7 @@
         thread("links", () -> {
             try {
                 while (true) {
-                    opened.accept(new Link(server.accept()));
+                    opened.accept(new HandoverChannel(server.accept()));
                 }
             } catch (IOException e) {
                 // closed: the folder is another's now
@@ -87,7 +87,7 @@
     }
 
     /** The next frame, awaited, or null at the link's end. Not for the I/O thread. */
-    public Frame await() {
+    public HandoverFrame await() {
         try {
             return next();
         } catch (IOException | RuntimeException e) { // whatever is wrong with it ends it
@@ -96,33 +96,33 @@
         }
     }
 
-    private Frame next() throws IOException {
+    private HandoverFrame next() throws IOException {
         int length = in.readInt();
-        if (length <= 0 || length > Frame.MOST) {
+        if (length <= 0 || length > HandoverFrame.MOST) {
             throw new IOException("a frame of " + length + " bytes");
         }
         byte[] bytes = in.readNBytes(length);
         if (bytes.length < length) {
             throw new IOException("a frame that stops short");
         }
-        return Frame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
+        return HandoverFrame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
     }
 
     /** Hands each frame over as it comes, and says when the link has ended; on the caller's thread, until then. */
-    public void read(Consumer<Frame> each, Runnable lost) {
-        for (Frame f = await(); f != null; f = await()) {
+    public void read(Consumer<HandoverFrame> each, Runnable lost) {
+        for (HandoverFrame f = await(); f != null; f = await()) {
             each.accept(f);
         }
         lost.run();
     }
 
     /** The same, on a thread of its own. */
-    public void reading(Consumer<Frame> each, Runnable lost) {
+    public void reading(Consumer<HandoverFrame> each, Runnable lost) {
         thread("link in", () -> read(each, lost));
     }
 
     /** Sends a frame soon; never blocks. */
-    public void send(Frame frame) {
+    public void send(HandoverFrame frame) {
         unwritten.incrementAndGet();
         if (!waiting.offer(frame)) {
             close();
@@ -136,7 +136,7 @@
 
     private void write() {
         try {
-            for (Frame f = waiting.take(); f != END; f = waiting.take()) {
+            for (HandoverFrame f = waiting.take(); f != END; f = waiting.take()) {
                 ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
                 f.to(new DataOutputStream(bytes));
                 ByteBuffer out = ByteBuffer.allocate(4 + bytes.size())
--- a/src/main/java/elderseam/upgrade/Frame.java
+++ b/src/main/java/elderseam/handover/HandoverFrame.java
@@ -1,9 +1,9 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import elderseam.core.Handover;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -11,27 +11,27 @@
 import java.util.List;
 
 /** What travels over the link, decoded once. */
-public sealed interface Frame {
+public sealed interface HandoverFrame {
     /** A frame of the link's first version; another version is refused by closing the link. */
     byte VERSION = 1;
 
     int MOST = 8 << 20;
 
     /** The newer process is warm: it asks for everything. */
-    record Take() implements Frame {}
+    record Take() implements HandoverFrame {}
 
     /** All that the older process passes on: the list of hosts in discovery's form, what its module has learned, whether a drain by
      *  hand lasts, the calls that are out. The journal has the rest. */
-    record Give(String list, Handover.Estate estate, boolean drains) implements Frame {}
+    record Give(String list, Handover.Estate estate, boolean drains) implements HandoverFrame {}
 
     /** The newer process owns the folder. */
-    record Owned() implements Frame {}
+    record Owned() implements HandoverFrame {}
 
     /** Stop waiting for a call. */
-    record Abandon(String id, int attempt) implements Frame {}
+    record Abandon(String id, int attempt) implements HandoverFrame {}
 
     /** A call has ended; {@code late}: its answer came after it had been given up. */
-    record Ended(Handover.Passed passed) implements Frame {}
+    record Ended(Handover.Passed passed) implements HandoverFrame {}
 
     default void to(DataOutputStream out) throws IOException {
         out.writeByte(VERSION);
@@ -73,7 +73,7 @@
         }
     }
 
-    static Frame from(DataInputStream in) throws IOException {
+    static HandoverFrame from(DataInputStream in) throws IOException {
         byte version = in.readByte();
         if (version != VERSION) {
             throw new IOException("the other process speaks version " + version + ", this one " + VERSION);
--- a/src/main/java/elderseam/upgrade/Taking.java
+++ b/src/main/java/elderseam/handover/HandoverReceiver.java
@@ -1,7 +1,7 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 /** The newer process's part, likewise. It begins by looking for an older one, and ends as the owner. */
-public final class Taking {
+public final class HandoverReceiver {
     public enum State {
         SEEKING,
         WARMING,
--- a/src/main/java/elderseam/upgrade/Giving.java
+++ b/src/main/java/elderseam/handover/HandoverSender.java
@@ -1,10 +1,10 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 /**
  * The older process's part of a hand-over, as decisions without I/O: each event gives the step that follows, whatever the order
  * in which events come. One thread owns it.
  */
-public final class Giving {
+public final class HandoverSender {
     /** OWNER until asked; GIVEN while the newer process takes over and may yet fail; GONE once it has. */
     public enum State {
         OWNER,
--- a/src/main/java/elderseam/upgrade/Owner.java
+++ b/src/main/java/elderseam/handover/OwnershipLock.java
@@ -1,4 +1,4 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -12,11 +12,11 @@
  * The lock on an empty file of the folder: whoever holds it owns journal, module and list. The kernel lets it go with the process
  * that held it, however that ended, so no owner that is dead keeps a new one out.
  */
-public final class Owner {
+public final class OwnershipLock {
     private final FileChannel file;
     private FileLock lock;
 
-    public Owner(Path folder) throws IOException {
+    public OwnershipLock(Path folder) throws IOException {
         Files.createDirectories(folder);
         file = FileChannel.open(folder.resolve("owner"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     }
--- a/src/main/java/elderseam/upgrade/package-info.java
+++ b/src/main/java/elderseam/handover/package-info.java
@@ -3,4 +3,4 @@
  * I/O; {@code Frame} is what travels, {@code Link} carries it over a Unix domain socket on threads of its own, {@code Owner} is the
  * lock that says which process owns the folder. Knows the core's values; what is done with them the wiring says.
  */
-package elderseam.upgrade;
+package elderseam.handover;
--- a/src/main/java/elderseam/http/Downstreams.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -28,7 +28,7 @@
  * an answer that is on its way. Nothing that is read after the sending ended is ever handed on: it could not be answered,
  * and the client, which finds the end and no answer, asks anew.
  */
-final class Downstreams {
+final class ClientConnections {
     private static final long WHOLE_NS = 2_400 * Clock.MS; // for a request to be there, from connecting
     private static final long LARGE_NS = 3_000 * Clock.MS; // and so much more for a long body
     private static final int LARGE = 64 << 10;
@@ -51,7 +51,7 @@
     /** One connection: what it does, since when, and until when it may. */
     final class Downstream {
         private final StreamConnection channel;
-        private final HeadCheck heads;
+        private final RequestHeadValidator heads;
         private State state = State.READING;
         private long since, until;
         private boolean first = true;
@@ -59,7 +59,7 @@
 
         private Downstream(StreamConnection channel) {
             this.channel = channel;
-            heads = new HeadCheck(channel.getSourceChannel().getConduit());
+            heads = new RequestHeadValidator(channel.getSourceChannel().getConduit());
             channel.getSourceChannel().setConduit(heads);
             channel.getSinkChannel()
                     .setConduit(new Answers(channel.getSinkChannel().getConduit()));
@@ -177,14 +177,14 @@
         }
     }
 
-    private final Io io;
+    private final IoLoop io;
     private final int most, mostReading;
     final Map<StreamConnection, Downstream> open = new LinkedHashMap<>(); // oldest first
     private int unanswered, reading, ending;
     private boolean looking;
 
     /** {@code mostReading}: bytes of bodies that are being read, over all. */
-    Downstreams(Io io, int most, int mostReading) {
+    ClientConnections(IoLoop io, int most, int mostReading) {
         this.io = io;
         this.most = most;
         this.mostReading = mostReading;
--- a/src/main/java/elderseam/http/UpstreamHost.java
+++ b/src/main/java/elderseam/http/EndpointAddress.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 
 /** Another host, and where it is reached. Connections are kept for both together: an address may pass to another host. */
-public record UpstreamHost(String id, String address) {
+public record EndpointAddress(String id, String address) {
     /** Null where the address is none. */
     InetSocketAddress socket() {
         int colon = address.lastIndexOf(':');
