--- a/src/main/java/elderseam/http/Connections.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -1,8 +1,8 @@
 package elderseam.http;
 
 import elderseam.core.Clock;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -28,7 +28,7 @@
  * stays out, and that connection is closed after a second, or sooner where room is needed. An answer that is spoilt, or
  * followed by what does not belong to it, closes its connection at once.
  */
-public final class Connections {
+public final class EndpointConnectionPool {
     private static final long WHOLE_NS = 700 * Clock.MS; // from the first byte of an answer to its last
     private static final long LOOK_NS = 100 * Clock.MS;
     private static final long LISTEN_NS = 1_000 * Clock.MS; // for the answer to a request given up
@@ -92,19 +92,19 @@
         }
     }
 
-    private final Io io;
+    private final IoLoop io;
     private final long idleNs;
     private int most;
     private final int mostBody;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
-    final Map<UpstreamHost, ArrayDeque<Link>> idle = new HashMap<>(); // no empty ones
+    final Map<EndpointAddress, ArrayDeque<Link>> idle = new HashMap<>(); // no empty ones
     private int open; // with those still connecting
     private final ArrayDeque<Link> listening = new ArrayDeque<>(); // oldest first
     private boolean looking;
 
     /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once;
      *  {@code mostBody}: a longer answer is spoilt. */
-    public Connections(Io io, long idleNs, int most, int mostBody) {
+    public EndpointConnectionPool(IoLoop io, long idleNs, int most, int mostBody) {
         this.io = io;
         this.idleNs = idleNs;
         this.most = most;
@@ -112,7 +112,7 @@
     }
 
     /** Closes what stands idle to a host. */
-    public void closeIdle(UpstreamHost host) {
+    public void closeIdle(EndpointAddress host) {
         ArrayDeque<Link> kept = idle.remove(host);
         if (kept != null) {
             kept.forEach(Link::close);
@@ -130,7 +130,8 @@
     }
 
     /** Sends a request; {@code done} is told once, never from within this call. */
-    public Request send(UpstreamHost host, Call call, long connectBy, long answerBy, Consumer<Reply> done) {
+    public Request send(
+            EndpointAddress host, HttpRequest call, long connectBy, long answerBy, Consumer<HttpResult> done) {
         return send(host, call, connectBy, answerBy, () -> true, () -> {}, null, done);
     }
 
@@ -138,20 +139,20 @@
      *  where there is one, is told of an answer that came after the request was given up: for a second more its connection is
      *  listened to. */
     public Request send(
-            UpstreamHost host,
-            Call call,
+            EndpointAddress host,
+            HttpRequest call,
             long connectBy,
             long answerBy,
             BooleanSupplier mayLeave,
             Runnable written,
-            Consumer<Reply> late,
-            Consumer<Reply> done) {
+            Consumer<HttpResult> late,
+            Consumer<HttpResult> done) {
         Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, written, late, done);
         r.start();
         return r;
     }
 
-    private Link takeIdle(UpstreamHost host) {
+    private Link takeIdle(EndpointAddress host) {
         Link found = null;
         for (ArrayDeque<Link> kept = idle.get(host); found == null && kept != null && !kept.isEmpty(); ) {
             Link link = kept.pollLast();
@@ -165,7 +166,7 @@
         return found;
     }
 
-    private void dropEmpty(UpstreamHost host) {
+    private void dropEmpty(EndpointAddress host) {
         idle.computeIfPresent(host, (h, kept) -> kept.isEmpty() ? null : kept);
     }
 
@@ -179,7 +180,7 @@
             listening.peekFirst().close();
             return true;
         }
-        UpstreamHost longest = idle.entrySet().stream()
+        EndpointAddress longest = idle.entrySet().stream()
                 .min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
                 .map(Map.Entry::getKey)
                 .orElse(null);
@@ -191,7 +192,7 @@
         return true;
     }
 
-    private void keep(UpstreamHost host, Link link) {
+    private void keep(EndpointAddress host, Link link) {
         link.since = io.clock.now();
         idle.computeIfAbsent(host, h -> new ArrayDeque<>(2)).add(link);
         look();
@@ -222,13 +223,13 @@
 
     /** One request under way. */
     public final class Request {
-        private final UpstreamHost host;
+        private final EndpointAddress host;
         private final ByteBuffer bytes;
         private final long connectBy, answerBy;
         private final BooleanSupplier mayLeave;
         private final Runnable written;
-        private final Consumer<Reply> late, done;
-        private final AnswerReader answer = new AnswerReader(mostBody);
+        private final Consumer<HttpResult> late, done;
+        private final HttpResponseReader answer = new HttpResponseReader(mostBody);
         private Progress progress = Progress.NOT_CONNECTED;
         private Link link;
         private IoFuture<StreamConnection> connecting;
@@ -237,14 +238,14 @@
         private boolean answering, over;
 
         private Request(
-                UpstreamHost host,
+                EndpointAddress host,
                 ByteBuffer bytes,
                 long connectBy,
                 long answerBy,
                 BooleanSupplier mayLeave,
                 Runnable written,
-                Consumer<Reply> late,
-                Consumer<Reply> done) {
+                Consumer<HttpResult> late,
+                Consumer<HttpResult> done) {
             this.host = host;
             this.bytes = bytes;
             this.connectBy = connectBy;
@@ -423,7 +424,8 @@
                 from.givenUp = null;
                 from.close();
                 if (answer.whole()) {
-                    late.accept(new Reply(Progress.ANSWERED, null, answer.code(), answer.headers(), answer.body()));
+                    late.accept(
+                            new HttpResult(Progress.ANSWERED, null, answer.code(), answer.headers(), answer.body()));
                 }
             }
         }
@@ -449,8 +451,8 @@
             }
             done.accept(
                     progress == Progress.ANSWERED
-                            ? new Reply(progress, null, answer.code(), answer.headers(), answer.body())
-                            : Reply.none(progress, failure, answer.code()));
+                            ? new HttpResult(progress, null, answer.code(), answer.headers(), answer.body())
+                            : HttpResult.none(progress, failure, answer.code()));
         }
     }
 }
--- a/src/main/java/elderseam/http/Call.java
+++ b/src/main/java/elderseam/http/HttpRequest.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 /** A request to another host, encoded once. */
-public record Call(String method, String path, Map<String, String> headers, byte[] body) {
-    public static Call get(String path) {
-        return new Call("GET", path, Map.of(), new byte[0]);
+public record HttpRequest(String method, String path, Map<String, String> headers, byte[] body) {
+    public static HttpRequest get(String path) {
+        return new HttpRequest("GET", path, Map.of(), new byte[0]);
     }
 
     ByteBuffer encoded(String host) {
--- a/src/main/java/elderseam/http/RequestFacts.java
+++ b/src/main/java/elderseam/http/HttpRequestAttributes.java
@@ -1,12 +1,12 @@
 package elderseam.http;
 
-import elderseam.core.Facts;
-import elderseam.http.Server.Request;
+import elderseam.core.RequestAttributes;
+import elderseam.http.HttpServer.Request;
 import java.util.Map;
 
 /** What a request tells the operator's rules; {@code attributes} and {@code body} are those of its message. */
-public record RequestFacts(String front, Request request, Map<String, String> attributes, byte[] body)
-        implements Facts {
+public record HttpRequestAttributes(String front, Request request, Map<String, String> attributes, byte[] body)
+        implements RequestAttributes {
     @Override
     public String method() {
         return request.method();
--- a/src/main/java/elderseam/http/AnswerReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -12,7 +12,7 @@
  * code of its first line is kept even then. Answers 1xx before it are passed over. (Undertow's own parser knows no bound
  * for a head, takes any 1xx for the answer, and tells nothing of a first line whose rest is broken.)
  */
-final class AnswerReader {
+final class HttpResponseReader {
     private static final int MOST_HEAD = 16 << 10;
     private static final Pattern FIRST = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?"),
             NAME = Pattern.compile("[!-~]+"),
@@ -41,7 +41,7 @@
     private long left;
     private boolean kept = true;
 
-    AnswerReader(int mostBody) {
+    HttpResponseReader(int mostBody) {
         this.mostBody = mostBody;
     }
 
--- a/src/main/java/elderseam/http/Reply.java
+++ b/src/main/java/elderseam/http/HttpResult.java
@@ -1,16 +1,16 @@
 package elderseam.http;
 
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import java.util.Map;
 
 /**
  * What came of a request to another host: its whole answer, or how far it had come and why there is none. The code is of
  * the first line, which may have been read though the rest was spoilt; 0 otherwise.
  */
-public record Reply(Progress progress, Status failure, int code, Map<String, String> headers, byte[] body) {
-    static Reply none(Progress progress, Status failure, int code) {
-        return new Reply(progress, failure, code, Map.of(), new byte[0]);
+public record HttpResult(Progress progress, Status failure, int code, Map<String, String> headers, byte[] body) {
+    static HttpResult none(Progress progress, Status failure, int code) {
+        return new HttpResult(progress, failure, code, Map.of(), new byte[0]);
     }
 
     public boolean answered() {
--- a/src/main/java/elderseam/http/Server.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -31,7 +31,7 @@
 import org.xnio.nio.InheritedListener;
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
-public final class Server {
+public final class HttpServer {
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}"); // once: a request meets it
     /** A request, read to its end; the source is null where it is not known. */
     public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
@@ -59,7 +59,7 @@
     private static final int ACCEPTING = 8; // more that are accepted, and about to take the place of others
 
     private final HttpOpenListener listener;
-    private final Io io;
+    private final IoLoop io;
     private final ServerSocketChannel inherited; // null: it binds its own
     private final ChannelListener<StreamConnection> opened;
     private final OptionMap options;
@@ -69,12 +69,12 @@
     private final UndertowXnioSsl ssl;
     private final int mostBody;
     private final Handler handler;
-    final Downstreams downstreams;
+    final ClientConnections downstreams;
     private boolean closing;
 
     /** Serves TLS where a context is given, else plain HTTP. */
-    public Server(
-            Io io,
+    public HttpServer(
+            IoLoop io,
             InetSocketAddress address,
             int mostBody,
             int mostConnections,
@@ -86,8 +86,8 @@
     }
 
     /** {@code inherited}: the socket that already listens there, or null. */
-    public Server(
-            Io io,
+    public HttpServer(
+            IoLoop io,
             InetSocketAddress address,
             ServerSocketChannel inherited,
             int mostBody,
@@ -101,7 +101,7 @@
         this.inherited = inherited;
         this.mostBody = mostBody;
         this.handler = handler;
-        this.downstreams = new Downstreams(io, mostConnections, mostReading);
+        this.downstreams = new ClientConnections(io, mostConnections, mostReading);
         this.listener = new HttpOpenListener(
                 io.buffers,
                 OptionMap.builder()
@@ -154,7 +154,7 @@
 
     private HttpHandler root() {
         return exchange -> {
-            Downstreams.Downstream d = downstreams.of(channel(exchange));
+            ClientConnections.Downstream d = downstreams.of(channel(exchange));
             if (d == null) { // closed meanwhile
                 IoUtils.safeClose(exchange.getConnection());
                 return;
@@ -227,7 +227,7 @@
      */
     private void refuse(HttpServerExchange x, int code) {
         x.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            Downstreams.Downstream d = downstreams.of(channel(x));
+            ClientConnections.Downstream d = downstreams.of(channel(x));
             if (d != null && !x.isResponseStarted()) {
                 downstreams.refuse(d, code);
             }
@@ -252,7 +252,7 @@
     }
 
     private void answer(HttpServerExchange x, int code, Map<String, String> headers, String text) {
-        Downstreams.Downstream d = downstreams.of(channel(x));
+        ClientConnections.Downstream d = downstreams.of(channel(x));
         if (d == null || x.isResponseStarted()) {
             return;
         }
--- a/src/main/java/elderseam/http/Io.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -1,8 +1,8 @@
 package elderseam.http;
 
 import elderseam.core.Clock;
-import elderseam.core.Lateness;
-import elderseam.core.Loop;
+import elderseam.core.EventLoop;
+import elderseam.core.StallDetector;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -25,7 +25,7 @@
  * a pause XNIO runs each timer that has come due before it looks at a socket, and would so give up calls whose answers
  * lie there.
  */
-public final class Io implements Loop {
+public final class IoLoop implements EventLoop {
     private static final int BUFFER = 16 << 10, BUFFERS = 256, CACHED = 16;
     private static final long NOTEWORTHY_NS = 100 * Clock.MS;
 
@@ -33,7 +33,7 @@
     final XnioIoThread thread;
     final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, CACHED);
     public final Clock clock;
-    private final Lateness lateness;
+    private final StallDetector lateness;
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>(); // bounded as the timers are: each is in here once
     private final ArrayDeque<Runnable> reading = new ArrayDeque<>(); // waits for a pass over the sockets
     private final ByteBuffer one = ByteBuffer.allocateDirect(16);
@@ -41,7 +41,7 @@
     private boolean marked, catchingUp;
     private LongConsumer away = ns -> {};
 
-    public Io(Clock clock) throws IOException {
+    public IoLoop(Clock clock) throws IOException {
         this.clock = clock;
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
@@ -51,7 +51,7 @@
                         .set(Options.WORKER_NAME, "elderseam")
                         .getMap());
         this.thread = worker.getIoThread();
-        this.lateness = new Lateness(clock.now());
+        this.lateness = new StallDetector(clock.now());
         ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
         marker = pipe.getRightSide();
         pipe.getLeftSide().getReadSetter().set(this::passed);
--- a/src/main/java/elderseam/http/HeadCheck.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -12,14 +12,14 @@
  * <p>Of a connection that is {@link #drop ending} it reads and drops what still comes: Undertow's own close waits for one byte
  * and then closes over the rest, which resets the connection, and the answer that is on its way goes with it.
  */
-final class HeadCheck extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class RequestHeadValidator extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final int MOST_DROPPED =
             256 << 10; // who sends more than that to a half-closed connection is not waited for
     private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(16 << 10); // of the one I/O thread
     private boolean inHead, firstLine, named, bad, drops;
     private int length, dropped;
 
-    HeadCheck(StreamSourceConduit next) {
+    RequestHeadValidator(StreamSourceConduit next) {
         super(next);
         next();
     }
--- a/src/main/java/elderseam/http/Lean.java
+++ b/src/main/java/elderseam/http/XnioStartup.java
@@ -6,16 +6,16 @@
 import java.util.logging.Logger;
 
 /** What XNIO does of its own accord at a start, and nobody here reads. */
-public final class Lean {
+public final class XnioStartup {
     /** Held, since a logger that nobody holds forgets its level. */
     private static final List<Logger> QUIET = new ArrayList<>();
 
     private static volatile boolean manageable;
 
-    private Lean() {}
+    private XnioStartup() {}
 
     /**
-     * To be called before the first {@link Io}. XNIO registers MBeans, for which the JVM's whole management starts (a fifth of
+     * To be called before the first {@link IoLoop}. XNIO registers MBeans, for which the JVM's whole management starts (a fifth of
      * the CPU of a start, and 7 MB), and greets with its version. An operator who asks for JMX on the command line has it still:
      * that starts before.
      */
--- a/src/main/java/elderseam/module/Books.java
+++ b/src/main/java/elderseam/policy/Books.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,13 +10,13 @@
 import java.util.Set;
 import java.util.function.Function;
 
-/** What a sender keeps count of: plain state, no decisions. Brain owns and changes all of it. */
+/** What a sender keeps count of: plain state, no decisions. DispatchPolicy owns and changes all of it. */
 final class Books {
     private Books() {}
 
     /** One call out: a ticket and a slot, shared by the messages of a batch. */
     static final class Call {
-        final Brain.Circuit circuit;
+        final DispatchPolicy.Circuit circuit;
         final Target target;
         final long start;
         final long turn;
@@ -31,7 +31,7 @@
         long unseen; // time since its start in which nobody looked for an answer
         long idleNs; // how long its connection had idled before; 0: new or in use
 
-        Call(Brain.Circuit circuit, Target target, long start, long turn, long answeredBefore) {
+        Call(DispatchPolicy.Circuit circuit, Target target, long start, long turn, long answeredBefore) {
             this.circuit = circuit;
             this.target = target;
             this.start = start;
@@ -104,7 +104,7 @@
         call.pending = 1;
         call.target.out++;
         call.circuit.out.add(call);
-        if (call.circuit.state == Brain.State.HALF_OPEN && call.circuit.trial == null) {
+        if (call.circuit.state == DispatchPolicy.State.HALF_OPEN && call.circuit.trial == null) {
             call.circuit.trial = call;
         }
         m.out.put(m.attempts - 1, call);
@@ -116,7 +116,7 @@
     static void carry(Sender.Ledger l, Map<String, Target> targets, Function<Sender.Endpoint, Target> add) {
         List<Target> all = new ArrayList<>(targets.values());
         long count = l.whole(all.size());
-        Set<Brain.Circuit> carried = new HashSet<>();
+        Set<DispatchPolicy.Circuit> carried = new HashSet<>();
         for (int i = 0; i < count; i++) {
             Target own = i < all.size() ? all.get(i) : null;
             String address = l.text(own == null ? "" : own.address);
@@ -132,8 +132,8 @@
         }
     }
 
-    private static void carry(Brain.Circuit c, Sender.Ledger l) {
-        c.state = Brain.State.values()[(int) l.whole(c.state.ordinal())];
+    private static void carry(DispatchPolicy.Circuit c, Sender.Ledger l) {
+        c.state = DispatchPolicy.State.values()[(int) l.whole(c.state.ordinal())];
         c.byHang = l.flag(c.byHang);
         long opens = l.time(c.openUntil), waits = l.time(c.waitUntil);
         c.openUntil =
@@ -186,7 +186,7 @@
     static final class Target {
         final String address;
         final int zone;
-        final Brain.Circuit circuit;
+        final DispatchPolicy.Circuit circuit;
         final Destination dest;
         boolean ready;
         boolean gone; // no longer listed; forgotten once nothing is out there
@@ -202,7 +202,7 @@
         private boolean served; // was listed before: one that first comes as draining has served, too
         long coldFrom, nextCold; // when it came back, and the next call there while it is cold
 
-        Target(String address, int zone, Destination dest, Brain.Circuit circuit, Sender.Settings settings) {
+        Target(String address, int zone, Destination dest, DispatchPolicy.Circuit circuit, Sender.Settings settings) {
             this.address = address;
             this.dest = dest;
             this.zone = zone;
@@ -250,7 +250,9 @@
 
         /** Whether nothing is sent there now: by the list, by hand, asleep or in a told wait. */
         private boolean avoided(long now) {
-            return !ready || now < circuit.waitUntil || circuit.state == Brain.State.OPEN && now < circuit.openUntil;
+            return !ready
+                    || now < circuit.waitUntil
+                    || circuit.state == DispatchPolicy.State.OPEN && now < circuit.openUntil;
         }
     }
 
@@ -308,7 +310,7 @@
         Sender.Kind kind; // as listed; while it is not, what the first kind says
         int kindNo;
         final List<Target> targets = new ArrayList<>();
-        final List<Brain.Circuit> circuits = new ArrayList<>();
+        final List<DispatchPolicy.Circuit> circuits = new ArrayList<>();
         final List<Held> waiting = new ArrayList<>();
         boolean busy;
         long bareFrom; // when its last endpoint left
@@ -323,13 +325,13 @@
         Sender.Breaker breaker(long now) {
             int calls = 0, failed = 0, closed = 0, open = 0;
             long wait = 0;
-            for (Brain.Circuit c : circuits) {
+            for (DispatchPolicy.Circuit c : circuits) {
                 int[] seen = c.window.seen(now); // without moving it: who looks must change nothing
                 calls += seen[0];
                 failed += seen[1];
                 wait = Math.max(wait, c.waitUntil - now);
-                closed += c.state == Brain.State.CLOSED ? 1 : 0;
-                open += c.state == Brain.State.OPEN && now < c.openUntil ? 1 : 0;
+                closed += c.state == DispatchPolicy.State.CLOSED ? 1 : 0;
+                open += c.state == DispatchPolicy.State.OPEN && now < c.openUntil ? 1 : 0;
             }
             return new Sender.Breaker(
                     closed > 0 || circuits.isEmpty()
@@ -341,7 +343,7 @@
         }
 
         Destination advised(double doubt, double trying) {
-            for (Brain.Circuit c : circuits) {
+            for (DispatchPolicy.Circuit c : circuits) {
                 c.doubt = doubt;
                 c.trying = trying;
             }
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -1,11 +1,5 @@
-package elderseam.module;
-
-import elderseam.module.Books.Call;
-import elderseam.module.Books.Destination;
-import elderseam.module.Books.Held;
-import elderseam.module.Books.Lane;
-import elderseam.module.Books.Target;
-import elderseam.module.Books.Window;
+package elderseam.policy;
+
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
@@ -19,6 +13,12 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
+import elderseam.policy.Books.Call;
+import elderseam.policy.Books.Destination;
+import elderseam.policy.Books.Held;
+import elderseam.policy.Books.Lane;
+import elderseam.policy.Books.Target;
+import elderseam.policy.Books.Window;
 
 /**
  * The decisions of one sender; its interface is in Sender.java. A circuit breaker for each destination (each
@@ -26,82 +26,78 @@
  * sleeps while messages park; then one live trial closes it or sends it back to sleep. What else acts, and
  * when, stands at each constant and in docs/design.md.
  */
-public final class Brain implements Sender.Events {
+public final class DispatchPolicy implements Sender.Events {
     // --- breaker (the design's own figures)
-    private static final long BUCKET_NS = 1_000_000_000L; // one bucket of outcomes
-    private static final int BUCKETS = 10; // buckets that count towards a trip
-    private static final int FLOOR = 20; // calls below which the share is not judged,
-    private static final int OFF = 12; // so many of them less at full doubt
-    private static final double TRIP_SHARE = 0.5; // failures among calls that trip
-    private static final long SLEEP_NS = 2_000_000_000L; // sleeping window before the first trial
-    private static final double LENGTHEN = 2; // times the outage so far that is added
+    private static final long BUCKET_NS = 1_000_000_000L;     // one bucket of outcomes
+    private static final int BUCKETS = 10;                    // buckets that count towards a trip
+    private static final int FLOOR = 20;                      // calls below which the share is not judged,
+    private static final int OFF = 12;                        // so many of them less at full doubt
+    private static final double TRIP_SHARE = 0.5;             // failures among calls that trip
+    private static final long SLEEP_NS = 2_000_000_000L;      // sleeping window before the first trial
+    private static final double LENGTHEN = 2;                 // times the outage so far that is added
     // --- a run without a success trips below the floor: small senders never gather FLOOR calls
-    private static final int RUN = 4; // failures in a row
-    private static final double SICK = 0.3; // weight of the last call in its failing share
+    private static final int RUN = 4;                         // failures in a row
+    private static final double SICK = 0.3;                   // weight of the last call in its failing share
     // --- slow and hung calls
-    private static final long OVERDUE_NS = 1_000_000_000L; // no call is called overdue before this age
-    private static final double OVERDUE = 5; // times the usual time of the destination
-    private static final double OVERDUE_LOSSY = 3.5; // the same while answers are known to get lost
-    private static final double HOPELESS = 2; // times overdue: an unsafe call is given up too
-    private static final double LOSSY = 0.05, LOSSES = 3; // share and number of calls lost that say so
-    private static final int HUNG = 2, HUNG_LOSSY = 5; // overdue calls, no success since, that trip
-    private static final int LOST = 2; // answers to others that show one to be lost
-    private static final double STALE = 0.5; // usual times until a dead connection shows
-    private static final long STALE_NS = 500_000_000L; // nothing ends a connection that idled for less
-    private static final double SLOW = 3; // times the usual time: fewer tickets
-    private static final double MOST_SLOWDOWN = 4; // cap on the slowness laid to the whole network
+    private static final long OVERDUE_NS = 1_000_000_000L;    // no call is called overdue before this age
+    private static final double OVERDUE = 5;                  // times the usual time of the destination
+    private static final double OVERDUE_LOSSY = 3.5;          // the same while answers are known to get lost
+    private static final double HOPELESS = 2;                 // times overdue: an unsafe call is given up too
+    private static final double LOSSY = 0.05, LOSSES = 3;     // share and number of calls lost that say so
+    private static final int HUNG = 2, HUNG_LOSSY = 5;        // overdue calls, no success since, that trip
+    private static final int LOST = 2;                        // answers to others that show one to be lost
+    private static final double STALE = 0.5;                  // usual times until a dead connection shows
+    private static final long STALE_NS = 500_000_000L;        // nothing ends a connection that idled for less
+    private static final double SLOW = 3;                     // times the usual time: fewer tickets
+    private static final double MOST_SLOWDOWN = 4;            // cap on the slowness laid to the whole network
     // --- pace
-    private static final double CUT = 0.88; // pace kept after a refusal as full
-    private static final double CUT_ROOM = 0.3; // less of it as the refused call had room left
-    private static final double GROW = 0.15; // growth of a pace in use, a second
-    private static final double REGROW = 1.5; // the same where a told limit rose since a cut
-    private static final double ROSE = 1.5, ROOM = 0.5; // so many times, and has such a share left
-    private static final long FULL_PAUSE_NS = 200_000_000L; // first pause after "full" without a told wait
-    private static final double MOST_CROWD = 30; // times longer where many senders share it
-    private static final double MOST_CROWD_FULL = 5; // where nothing failed of late: a limit
-    private static final double MOST_GROWTH = 30; // growth of the next pause, likewise
+    private static final double CUT = 0.88;                   // pace kept after a refusal as full
+    private static final double CUT_ROOM = 0.3;               // less of it as the refused call had room left
+    private static final double GROW = 0.15;                  // growth of a pace in use, a second
+    private static final double REGROW = 1.5;                 // the same where a told limit rose since a cut
+    private static final double ROSE = 1.5, ROOM = 0.5;       // so many times, and has such a share left
+    private static final long FULL_PAUSE_NS = 200_000_000L;   // first pause after "full" without a told wait
+    private static final double MOST_CROWD = 30;              // times longer where many senders share it
+    private static final double MOST_CROWD_FULL = 5;          // where nothing failed of late: a limit
+    private static final double MOST_GROWTH = 30;             // growth of the next pause, likewise
     private static final long MOST_PAUSE_NS = 1_600_000_000L; // it doubles up to this
-    private static final double DEPTH_S = 0.5; // burst that a pace allows, in seconds of it
-    private static final double ROUGH = 1.5; // a listed weight may be this far off
-    private static final double UNTOLD = 3; // calls a second laid to one of unknown rate
-    private static final double MARGIN = 1.25; // kept below the multiple that fells a cold one
+    private static final double DEPTH_S = 0.5;                // burst that a pace allows, in seconds of it
+    private static final double ROUGH = 1.5;                  // a listed weight may be this far off
+    private static final double UNTOLD = 3;                   // calls a second laid to one of unknown rate
+    private static final double MARGIN = 1.25;                // kept below the multiple that fells a cold one
     // --- time
-    private static final long TICK_NS = 5_000_000L; // no timer is set for less than this
-    private static final long MEASURE_NS = 100_000_000L; // how often the network's pace is taken
-    private static final long RETRY_NS = 100_000_000L; // first back-off after a failure; doubles
-    private static final long SUBSCRIBE_NS = 500_000_000L; // first back-off after a failed subscription
-    private static final double PRICED = 50, FAR = 0.03; // calls a price of 1 outweighs; another zone
-    private static final long KEEP_NS = 30_000_000_000L; // fewer idle connections after one did harm
-    private static final double OUTSIDE = 4; // more calls out in the subset: go outside
-    private static final double LEAST_RETRIES = 2; // a second, of all senders together
-    private static final double CLOSING = 3; // usual times left before the end, or no call
+    private static final long TICK_NS = 5_000_000L;           // no timer is set for less than this
+    private static final long MEASURE_NS = 100_000_000L;      // how often the network's pace is taken
+    private static final long RETRY_NS = 100_000_000L;        // first back-off after a failure; doubles
+    private static final long SUBSCRIBE_NS = 500_000_000L;    // first back-off after a failed subscription
+    private static final double PRICED = 50, FAR = 0.03;      // calls a price of 1 outweighs; another zone
+    private static final long KEEP_NS = 30_000_000_000L;      // fewer idle connections after one did harm
+    private static final double OUTSIDE = 4;                  // more calls out in the subset: go outside
+    private static final double LEAST_RETRIES = 2;            // a second, of all senders together
+    private static final double CLOSING = 3;                  // usual times left before the end, or no call
     // --- worth
-    private static final double LATER = 0.9; // weight of the worth one aim later
+    private static final double LATER = 0.9;                  // weight of the worth one aim later
 
-    enum State {
-        CLOSED,
-        OPEN,
-        HALF_OPEN
-    }
+    enum State { CLOSED, OPEN, HALF_OPEN }
 
     /** Breaker, tickets and pace of one destination or route. */
     final class Circuit {
         final String name;
         final Window window = new Window(BUCKETS, BUCKET_NS);
-        final List<Call> out = new ArrayList<>(); // each holds a ticket
+        final List<Call> out = new ArrayList<>();   // each holds a ticket
         State state = State.CLOSED;
         Call trial;
-        boolean byHang; // asleep for want of answers, not for failures
+        boolean byHang;                             // asleep for want of answers, not for failures
         long openUntil, waitUntil, lastGood, goodStart, runFrom, lateNs, downFrom;
         int run, overdue, batch;
-        double usual, recent; // time of a delivered call: lasting, and of late
-        double weight, norm; // calls a second: listed for all, own at most
-        double cutWeight; // the former when the pace was last cut
+        double usual, recent;                       // time of a delivered call: lasting, and of late
+        double weight, norm;                        // calls a second: listed for all, own at most
+        double cutWeight;                           // the former when the pace was last cut
         double pace = Double.POSITIVE_INFINITY, level = 1, sick;
         long refilled, pauseUntil, pause, lastCut, lastFull, lastBad, rampFrom;
-        double doubt, trying; // laid on it by others: 0 to 1; how many will try it
-        boolean ramping, idle, told, room; // told: its limit comes with its answers; room: much left
-        long answered; // calls delivered so far
+        double doubt, trying;                       // laid on it by others: 0 to 1; how many will try it
+        boolean ramping, idle, told, room;          // told: its limit comes with its answers; room: much left
+        long answered;                              // calls delivered so far
 
         Circuit(String name, long now) {
             this.name = name;
@@ -113,7 +109,7 @@
         void roll(long now) {
             int moved = window.roll(now);
             if (moved > 0 && state == State.CLOSED && !ramping) {
-                double calls = window.calls(); // less the chance in it: rare calls must not look frequent
+                double calls = window.calls();   // less the chance in it: rare calls must not look frequent
                 norm = Math.max(norm * Math.pow(0.99, moved), (calls - Math.sqrt(calls)) / BUCKETS);
             }
         }
@@ -162,12 +158,10 @@
             if (level < 1 && now - lastFull > BUCKET_NS && !ramping) {
                 double share = weight / senders;
                 boolean rose = room && weight > ROSE * cutWeight;
-                pace = rose && pace < share
-                        ? Math.min(share, pace * Math.exp(REGROW * dt))
+                pace = rose && pace < share ? Math.min(share, pace * Math.exp(REGROW * dt))
                         : pace * Math.exp(GROW * dt);
             }
-            level = Double.isInfinite(rate)
-                    ? 1
+            level = Double.isInfinite(rate) ? 1
                     : Math.min(Math.max(1, ramping ? 1 : rate * DEPTH_S), level + rate * dt);
             if (now - lastFull > BUCKETS * BUCKET_NS && !Double.isInfinite(pace) && level > 1) {
                 pace = Double.POSITIVE_INFINITY;
@@ -201,8 +195,7 @@
                 }
                 overdue += c.overdue ? 1 : 0;
             }
-            if (state == State.CLOSED
-                    ? overdue >= (lossy ? HUNG_LOSSY : HUNG) && now - lastGood > limit
+            if (state == State.CLOSED ? overdue >= (lossy ? HUNG_LOSSY : HUNG) && now - lastGood > limit
                     : state == State.HALF_OPEN && trial != null && trial.overdue) {
                 byHang = true;
                 trip(now, "hung calls: " + overdue);
@@ -230,7 +223,7 @@
         void warmUp(long now) {
             ramping = true;
             rampFrom = refilled = now;
-            level = crowd() > 1 ? 1 : 0; // trials of many are spread: each may go on with one call
+            level = crowd() > 1 ? 1 : 0;   // trials of many are spread: each may go on with one call
         }
 
         boolean lends(long now) {
@@ -247,8 +240,7 @@
         long lendsAt(long now) {
             long at = Math.max(waitUntil, Math.max(pauseUntil, state == State.OPEN ? openUntil : now));
             double rate = rate(now);
-            return state != State.CLOSED || level >= 1 || rate <= 0
-                    ? at
+            return state != State.CLOSED || level >= 1 || rate <= 0 ? at
                     : Math.max(at, now + (long) ((1 - level) / rate * 1e9) + 1);
         }
 
@@ -258,22 +250,21 @@
                 good(call, o, now);
                 return;
             }
-            if (call.overdue && call.idleNs > 0
-                    || o.result() == Sender.Result.RESET && o.latencyNs() < STALE * usualNs() && stale(call, now)) {
-                return; // the connection's fault
+            if (call.overdue && call.idleNs > 0 || o.result() == Sender.Result.RESET
+                    && o.latencyNs() < STALE * usualNs() && stale(call, now)) {
+                return;   // the connection's fault
             }
             if (o.result() == Sender.Result.FULL) {
                 full(call, o.waitNs(), now);
             } else {
-                if (o.result() == Sender.Result.CONNECT_FAILED
-                        && crowd() > 1
+                if (o.result() == Sender.Result.CONNECT_FAILED && crowd() > 1
                         && o.latencyNs() < settings.connections().timeoutNs()) {
                     keep(call.target.dest.kindNo, 0);
                 }
                 lastBad = now;
                 sicken(now);
                 runFrom = run == 0 ? now : runFrom;
-                run += call.cut ? 0 : 1; // a cut counts in the share; silence has its own test
+                run += call.cut ? 0 : 1;   // a cut counts in the share; silence has its own test
                 if (crowd() > 1 && lastGood < call.start && o.result() != Sender.Result.ERROR) {
                     backOff(0, now);
                 }
@@ -356,7 +347,7 @@
                 double seen = Math.max(norm, (double) (window.calls() - window.failed()) / BUCKETS);
                 double share = Math.max(1, Math.max(seen, weight / senders));
                 double from = Double.isInfinite(pace) ? share : pace;
-                double room = told ? 0 : 1 - (double) call.messages.size() / batch; // fewer carry the same
+                double room = told ? 0 : 1 - (double) call.messages.size() / batch;  // fewer carry the same
                 pace = Math.max(0.3, (CUT - CUT_ROOM * room) * from);
                 lastCut = now;
                 level = Math.min(level, 0);
@@ -379,8 +370,7 @@
         }
 
         double crowd(double trying) {
-            double warm = settings.rates() == Sender.Rates.EXACT && weight > 0
-                    ? weight
+            double warm = settings.rates() == Sender.Rates.EXACT && weight > 0 ? weight
                     : Math.max(weight > 0 ? weight / ROUGH : UNTOLD, norm * senders);
             double stands = settings.coldShare() * settings.fallMultiple() * warm * SLEEP_NS / 1e9;
             return Math.max(1, Math.max(senders, trying) / stands);
@@ -393,7 +383,7 @@
             double next = pause == 0 ? first : pause * (1 + Math.min(MOST_GROWTH, crowd));
             pause = (long) Math.min(MOST_PAUSE_NS * crowd, next);
             double spread = pause * (0.5 + random.nextDouble()) * (waitNs > 0 ? 1 - 1 / crowd : 1);
-            if (waitNs > BUCKET_NS && crowd > 1) { // shut: all were told the same end
+            if (waitNs > BUCKET_NS && crowd > 1) {   // shut: all were told the same end
                 spread = random.nextDouble() * Math.min(SLEEP_NS * crowd, LENGTHEN * waitNs);
             }
             pauseUntil = Math.max(pauseUntil, now + waitNs + (long) spread);
@@ -418,30 +408,30 @@
     private final SplittableRandom random;
     private final Map<String, Held> held = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new HashMap<>();
-    private final List<Destination> busy = new ArrayList<>(); // calls out or messages waiting
-    private final List<Circuit> seen = new ArrayList<>(); // delivered something of late
+    private final List<Destination> busy = new ArrayList<>();       // calls out or messages waiting
+    private final List<Circuit> seen = new ArrayList<>();                 // delivered something of late
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Lane> lanes = new HashMap<>();
-    private final List<Destination> bare = new ArrayList<>(); // no endpoint is listed
-    private final Set<Held> resting = new LinkedHashSet<>(); // the last of their lanes, which rest yet
+    private final List<Destination> bare = new ArrayList<>();       // no endpoint is listed
+    private final Set<Held> resting = new LinkedHashSet<>();        // the last of their lanes, which rest yet
     private Books.Tenants tenants;
-    private final Window losses = new Window(BUCKETS, BUCKET_NS); // of answers, over all destinations
+    private final Window losses = new Window(BUCKETS, BUCKET_NS);   // of answers, over all destinations
     private final List<Held> candidates = new ArrayList<>();
-    private final List<Target> used = new ArrayList<>(); // calls there ended in this turn
-    private final long[] keepNs, keepUntil; // by kind: idle connections, until when
+    private final List<Target> used = new ArrayList<>();            // calls there ended in this turn
+    private final long[] keepNs, keepUntil;                         // by kind: idle connections, until when
     private long subscribeAt;
     private int live, callsOut, subscribeFailures;
-    private Held newest; // that came in this turn
+    private Held newest;                                            // that came in this turn
     private long turn, seq, measuredAt = Long.MIN_VALUE / 2;
     private double fleetUsual, slowdown = 1;
     private long clock = Long.MIN_VALUE, timerAt = Long.MAX_VALUE, closesAt = Long.MAX_VALUE;
-    private long due; // next time something may change
+    private long due;                                               // next time something may change
     private boolean subscribed, lossy;
-    private int senders; // that share the destinations
-    private Predicate<String> preferred = e -> true; // endpoints of its subset
-    private double retries = 1; // after a failure, for each first try
+    private int senders;                                            // that share the destinations
+    private Predicate<String> preferred = e -> true;                // endpoints of its subset
+    private double retries = 1;                                     // after a failure, for each first try
 
-    public Brain(Sender.Settings settings, long seed, Sender.Actions actions) {
+    public DispatchPolicy(Sender.Settings settings, long seed, Sender.Actions actions) {
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
@@ -513,8 +503,7 @@
 
     /** Whether its last endpoint left so lately that messages for it may still be held. */
     private boolean lately(Destination d) {
-        long longest =
-                settings.classes().stream().mapToLong(c -> c.deadlineNs()).max().orElse(0);
+        long longest = settings.classes().stream().mapToLong(c -> c.deadlineNs()).max().orElse(0);
         return clock - d.bareFrom <= longest;
     }
 
@@ -526,8 +515,7 @@
     }
 
     private Destination destination(long id) {
-        return destinations.computeIfAbsent(
-                id, i -> new Destination(i, settings.kinds().get(0), clock));
+        return destinations.computeIfAbsent(id, i -> new Destination(i, settings.kinds().get(0), clock));
     }
 
     private Target add(Sender.Endpoint e, long now) {
@@ -676,8 +664,8 @@
     @Override
     public void unseen(long now, long ns) {
         advance(now);
-        busy.forEach(d -> d.circuits.forEach(
-                c -> c.out.forEach(call -> call.unseen = Math.min(now - call.start, call.unseen + ns))));
+        busy.forEach(d -> d.circuits.forEach(c -> c.out.forEach(
+                call -> call.unseen = Math.min(now - call.start, call.unseen + ns))));
     }
 
     @Override
@@ -731,11 +719,8 @@
      */
     private void keep(int kind, long ns) {
         if (ns == 0 && kept(kind) > 0) {
-            targets.values().stream()
-                    .filter(t -> t.dest.kindNo == kind
-                            && !used.contains(t)
-                            && clock - t.usedAt < settings.connections().idleNs())
-                    .forEach(used::add);
+            targets.values().stream().filter(t -> t.dest.kindNo == kind && !used.contains(t)
+                    && clock - t.usedAt < settings.connections().idleNs()).forEach(used::add);
         }
         keepNs[kind] = Math.min(kept(kind), ns);
         keepUntil[kind] = Math.max(keepUntil[kind], clock + KEEP_NS);
@@ -798,19 +783,14 @@
     }
 
     private boolean mayRefuse(Held m) {
-        return m.out.isEmpty()
-                && (!m.maybeRan
-                        || m.cls.effect() == Sender.Effect.SAFE
-                        || m.cls.effect() == Sender.Effect.KEYED && !m.cls.keyPerZone() && m.msg.heedsWindow());
+        return m.out.isEmpty() && (!m.maybeRan || m.cls.effect() == Sender.Effect.SAFE
+                || m.cls.effect() == Sender.Effect.KEYED && !m.cls.keyPerZone() && m.msg.heedsWindow());
     }
 
     /** After an attempt that may have run: safe anywhere; keyed where and while the key is remembered. */
     private boolean maySend(Held m, long now, int zone) {
-        return !m.maybeRan
-                || m.cls.effect() == Sender.Effect.SAFE
-                || m.cls.effect() == Sender.Effect.KEYED
-                        && now < m.keyUntil
-                        && (!m.cls.keyPerZone() || zone == m.keyZone);
+        return !m.maybeRan || m.cls.effect() == Sender.Effect.SAFE || m.cls.effect() == Sender.Effect.KEYED
+                && now < m.keyUntil && (!m.cls.keyPerZone() || zone == m.keyZone);
     }
 
     private void giveUp(Held m, long now, long comeBack) {
@@ -827,7 +807,7 @@
     @Override
     public void timer(long now, long token) {
         advance(now);
-        timerAt = now >= timerAt - TICK_NS ? Long.MAX_VALUE : timerAt; // hosts may round to their ticks
+        timerAt = now >= timerAt - TICK_NS ? Long.MAX_VALUE : timerAt;   // hosts may round to their ticks
     }
 
     @Override
@@ -886,8 +866,7 @@
         resting.removeIf(m -> !rests(m));
         seen.removeIf(c -> now - c.lastGood >= BUCKETS * BUCKET_NS / 2);
         fleetUsual = seen.stream().mapToDouble(c -> c.usual).average().orElse(fleetUsual);
-        double[] ratio =
-                seen.stream().mapToDouble(c -> c.recent / c.usual).sorted().toArray();
+        double[] ratio = seen.stream().mapToDouble(c -> c.recent / c.usual).sorted().toArray();
         slowdown = ratio.length < 3 ? 1 : Math.min(MOST_SLOWDOWN, Math.max(1, ratio[ratio.length / 2]));
     }
 
@@ -902,8 +881,8 @@
             if (!call.overdue || call.cut) {
                 continue;
             }
-            boolean scarce =
-                    callsOut >= settings.slots() || c.state == State.CLOSED && c.out.size() >= c.pool() && !c.idle;
+            boolean scarce = callsOut >= settings.slots()
+                    || c.state == State.CLOSED && c.out.size() >= c.pool() && !c.idle;
             boolean lost = c.answered > call.answeredBefore + LOST || call.idleNs > 0;
             boolean unsafe = call.messages.stream().anyMatch(m -> m.cls.effect() == Sender.Effect.UNSAFE);
             if (!(lost && !unsafe || scarce && (!unsafe || lossy || call.hopeless))) {
@@ -949,11 +928,8 @@
     private void shed(long now) {
         int room = Math.max(1, settings.mostHeld() / 16);
         while (live > settings.mostHeld() - room) {
-            Destination from = newest != null && newest.crowded(turn)
-                    ? newest.dest
-                    : busy.stream()
-                            .max(Comparator.comparingInt(d -> d.waiting.size()))
-                            .orElse(null);
+            Destination from = newest != null && newest.crowded(turn) ? newest.dest
+                    : busy.stream().max(Comparator.comparingInt(d -> d.waiting.size())).orElse(null);
             if (from == null || from.waiting.isEmpty()) {
                 return;
             }
@@ -965,8 +941,7 @@
 
     /** What is lost by waiting, for each second of a slot; {@code more}: besides, where it is given up. */
     private double index(Held m, long now, double more) {
-        double ns = m.dest.circuits.isEmpty()
-                ? fleetUsual
+        double ns = m.dest.circuits.isEmpty() ? fleetUsual
                 : Math.max(m.dest.circuits.get(0).usualNs(), m.dest.circuits.get(0).recent);
         long done = now + (long) ns;
         double later = m.worthAt(done + m.cls.aimNs(), settings);
@@ -994,7 +969,7 @@
                 continue;
             }
             Held trial = null;
-            int share = Math.min(d.kind.batch(), d.waiting.size()); // messages that would share the slot
+            int share = Math.min(d.kind.batch(), d.waiting.size());   // messages that would share the slot
             for (Held m : d.waiting) {
                 if (now < m.notBefore || !laneFree(m, now)) {
                     due(now < m.notBefore ? m.notBefore : m.lane.restUntil > now ? m.lane.restUntil : due);
@@ -1003,8 +978,7 @@
                 m.index = share * index(m, now, 0);
                 if (closed) {
                     candidates.add(m);
-                } else if (trial == null
-                        || m.cls.effect().compareTo(trial.cls.effect()) < 0
+                } else if (trial == null || m.cls.effect().compareTo(trial.cls.effect()) < 0
                         || m.cls.effect() == trial.cls.effect() && m.index > trial.index) {
                     trial = m;
                 }
@@ -1046,8 +1020,7 @@
     private Target pick(Held m, long now) {
         int all = m.dest.circuits.stream().mapToInt(c -> c.out.size()).sum();
         boolean full = callsOut >= settings.slots() || all >= Math.max(1, settings.slots() * 3 / 4);
-        double mean =
-                m.dest.circuits.stream().mapToDouble(c -> c.weight).average().orElse(1);
+        double mean = m.dest.circuits.stream().mapToDouble(c -> c.weight).average().orElse(1);
         Target best = null;
         double bestCost = 0;
         for (Target t : m.dest.targets) {
@@ -1060,16 +1033,12 @@
             }
             int k = m.msg.cls();
             if (m.dest.kind.routesApart()) {
-                double share = t.circuit.weight > 0 ? t.circuit.weight / mean : 1; // by the listed rates
+                double share = t.circuit.weight > 0 ? t.circuit.weight / mean : 1;   // by the listed rates
                 t.bias = -Math.log(1 - random.nextDouble()) / share;
             }
-            double cost = t.out
-                    + PRICED * price(t)
-                    + (t == m.last ? 2 : 0)
-                    + t.bias
+            double cost = t.out + PRICED * price(t) + (t == m.last ? 2 : 0) + t.bias
                     + (t.outside ? OUTSIDE : 0)
-                    + (now < t.restUntil[k] ? 100 + t.failures[k] : 0)
-                    - (joins(t) ? 50 : 0);
+                    + (now < t.restUntil[k] ? 100 + t.failures[k] : 0) - (joins(t) ? 50 : 0);
             if (t.circuit.state == State.HALF_OPEN && m.cls.effect() != Sender.Effect.UNSAFE) {
                 cost -= 1000;
             }
@@ -1089,7 +1058,7 @@
             long idle = now - t.usedAt;
             if (t.out == 0 && idle > 0 && idle < settings.connections().idleNs()) {
                 if (idle > kept(m.dest.kindNo) || c.state == State.HALF_OPEN) {
-                    close(t); // a trial is to tell of the destination, not of a connection
+                    close(t);   // a trial is to tell of the destination, not of a connection
                 } else {
                     call.idleNs = idle;
                 }
--- a/src/main/java/elderseam/module/RetryBudget.java
+++ b/src/main/java/elderseam/policy/RetryBudget.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * How many further tries a destination may get for the first tries it got, by a bucket as in Finagle's retry budget: each first
--- a/src/main/java/elderseam/module/Sender.java
+++ b/src/main/java/elderseam/policy/Sender.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import java.util.List;
 import java.util.function.BiConsumer;
--- a/src/main/java/elderseam/rules/Calendar.java
+++ b/src/main/java/elderseam/rules/Calendar.java
@@ -16,19 +16,19 @@
         this.zone = zone;
     }
 
-    /** A part, by its number in {@link Vocabulary}; months and days from 1, Monday is 1; days left: 0 on the last of the month. */
+    /** A part, by its number in {@link RuleVariables}; months and days from 1, Monday is 1; days left: 0 on the last of the month. */
     long part(int name, long wallMs) {
         if (Math.floorDiv(wallMs, MINUTE_MS) != minute) {
             minute = Math.floorDiv(wallMs, MINUTE_MS);
             at = Instant.ofEpochMilli(wallMs).atZone(zone);
         }
         return switch (name) {
-            case Vocabulary.YEAR -> at.getYear();
-            case Vocabulary.MONTH -> at.getMonthValue();
-            case Vocabulary.DAY -> at.getDayOfMonth();
-            case Vocabulary.HOUR -> at.getHour();
-            case Vocabulary.MINUTE -> at.getMinute();
-            case Vocabulary.WEEKDAY -> at.getDayOfWeek().getValue();
+            case RuleVariables.YEAR -> at.getYear();
+            case RuleVariables.MONTH -> at.getMonthValue();
+            case RuleVariables.DAY -> at.getDayOfMonth();
+            case RuleVariables.HOUR -> at.getHour();
+            case RuleVariables.MINUTE -> at.getMinute();
+            case RuleVariables.WEEKDAY -> at.getDayOfWeek().getValue();
             default -> at.toLocalDate().lengthOfMonth() - at.getDayOfMonth();
         };
     }
--- a/src/main/java/elderseam/rules/Scheme.java
+++ b/src/main/java/elderseam/rules/IdempotencyKeyScheme.java
@@ -10,11 +10,11 @@
  * with the name of its scheme, so that one of other rules is never taken for it; and while any is remembered, its scheme goes on
  * being asked about each message that comes, so that a change of the rules between two copies of a message does not part them.
  */
-public record Scheme(String name, String text) {
+public record IdempotencyKeyScheme(String name, String text) {
     static final int MOST_TEXT = 64 << 10;
 
-    static Scheme of(String text) {
-        return new Scheme(hash(text, 6), text);
+    static IdempotencyKeyScheme of(String text) {
+        return new IdempotencyKeyScheme(hash(text, 6), text);
     }
 
     /** What is recorded for a key: neither its length nor what stands in it matters. */
--- a/src/main/java/elderseam/rules/SchemeText.java
+++ b/src/main/java/elderseam/rules/IdempotencyKeySchemeText.java
@@ -1,17 +1,17 @@
 package elderseam.rules;
 
-import elderseam.settings.Sections.Section;
+import elderseam.settings.SectionFile.Section;
 import java.util.List;
 import java.util.Set;
 
-/** The text of a {@link Scheme}: of all rules only what may decide which of them yields a key, and which key. */
-final class SchemeText {
+/** The text of a {@link IdempotencyKeyScheme}: of all rules only what may decide which of them yields a key, and which key. */
+final class IdempotencyKeySchemeText {
     private static final Set<String> RULE = Set.of("when", "class", "tenant", "destination", "route", "key"),
             NOT = Set.of("limit", "example", "scheme");
 
-    private SchemeText() {}
+    private IdempotencyKeySchemeText() {}
 
-    static String of(List<Section> sections, Extent e) {
+    static String of(List<Section> sections, RuleLimits e) {
         StringBuilder all = new StringBuilder("[scheme keys]\nzone = ")
                 .append(e.zone().getId())
                 .append("\nbody_bytes = ")
--- a/src/main/java/elderseam/rules/Bodies.java
+++ b/src/main/java/elderseam/rules/JsonFieldExtractor.java
@@ -5,8 +5,8 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
-import elderseam.rules.lang.Err;
-import elderseam.rules.lang.Null;
+import elderseam.rules.cel.EvaluationError;
+import elderseam.rules.cel.NullValue;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -20,12 +20,12 @@
  * no JSON, is nested too deep, or tells a name twice in one object (RFC 8259, section 4: what that means is anybody's guess) is an
  * error for each of its fields. Whole numbers of 64 bits are ints, all others doubles.
  */
-final class Bodies {
-    private static final Err NOT_JSON = new Err("a body that is no JSON object"),
-            TOO_LARGE = new Err("a body above body_bytes"),
-            TOO_LONG = new Err("a field above field_chars or list_items"),
-            TOO_DEEP = new Err("a body nested above body_depth"),
-            TWICE = new Err("a body that tells a name twice in one object");
+final class JsonFieldExtractor {
+    private static final EvaluationError NOT_JSON = new EvaluationError("a body that is no JSON object"),
+            TOO_LARGE = new EvaluationError("a body above body_bytes"),
+            TOO_LONG = new EvaluationError("a field above field_chars or list_items"),
+            TOO_DEEP = new EvaluationError("a body nested above body_depth"),
+            TWICE = new EvaluationError("a body that tells a name twice in one object");
 
     /** The names below one, and which field ends there. */
     private static final class Node {
@@ -33,14 +33,14 @@
         int field = -1;
     }
 
-    private final Extent extent;
+    private final RuleLimits extent;
     private final JsonFactory json;
     private final Node root = new Node();
     private final Object[] values;
     private int items; // of the field that is read, in all its lists and maps
 
     /** {@code fields}: the paths, whose place in the list is the number of the field. */
-    Bodies(Extent extent, List<List<String>> fields) {
+    JsonFieldExtractor(RuleLimits extent, List<List<String>> fields) {
         this.extent = extent;
         this.values = new Object[fields.size()];
         this.json = JsonFactory.builder()
@@ -64,7 +64,7 @@
     /** The values by number; null for those that are not there. Good until the next call. */
     Object[] read(byte[] body) {
         Arrays.fill(values, null);
-        Err fault = body.length > extent.bodyBytes() ? TOO_LARGE : null;
+        EvaluationError fault = body.length > extent.bodyBytes() ? TOO_LARGE : null;
         try (JsonParser p = fault == null ? json.createParser(body) : null) {
             if (p != null) {
                 fault = p.nextToken() == JsonToken.START_OBJECT ? null : NOT_JSON;
@@ -145,7 +145,7 @@
                 return list(p);
             }
             default -> {
-                return Null.NULL;
+                return NullValue.NULL;
             }
         }
     }
--- a/src/main/java/elderseam/rules/Buckets.java
+++ b/src/main/java/elderseam/rules/KeyedRateLimiter.java
@@ -9,7 +9,7 @@
  * which it would be empty again is kept. Bounded in number: a key is let go only when its bucket is full again, so that a flooder
  * gains nothing by handing in keys until its own is let go; while none can be let go, all further keys share one bucket.
  */
-final class Buckets {
+final class KeyedRateLimiter {
     private static final int LOOK = 8; // eldest that are looked at for one to let go
 
     final String name;
@@ -20,7 +20,7 @@
     private long crowded;
 
     /** {@code rate} a second, of which {@code burst} may come at once; {@code most} keys of their own. */
-    Buckets(String name, double rate, int burst, int most) {
+    KeyedRateLimiter(String name, double rate, int burst, int most) {
         this.name = name;
         this.interval = Math.max(1, Math.round(1e9 / rate));
         this.tolerance = interval * (burst - 1);
@@ -73,7 +73,7 @@
     }
 
     /** Takes over what an earlier one of the same limit knows: a reload forgives nobody. */
-    void inherit(Buckets old) {
+    void inherit(KeyedRateLimiter old) {
         for (Map.Entry<String, long[]> e : old.empty.entrySet()) {
             if (empty.size() < most) {
                 empty.put(e.getKey(), e.getValue().clone());
--- a/src/main/java/elderseam/rules/Names.java
+++ b/src/main/java/elderseam/rules/KnownNames.java
@@ -7,18 +7,18 @@
  * The classes and tenants that there are, in the order of the settings that name them. Where nobody told them ({@code told} false, as
  * on a desk without the platform's configuration) each name that a rule or an example uses is taken for one.
  */
-public record Names(List<String> classes, List<String> tenants, boolean told) {
-    public static Names of(List<String> classes, List<String> tenants) {
-        return new Names(List.copyOf(classes), List.copyOf(tenants), true);
+public record KnownNames(List<String> classes, List<String> tenants, boolean told) {
+    public static KnownNames of(List<String> classes, List<String> tenants) {
+        return new KnownNames(List.copyOf(classes), List.copyOf(tenants), true);
     }
 
-    public static Names untold() {
-        return new Names(new ArrayList<>(), new ArrayList<>(), false);
+    public static KnownNames untold() {
+        return new KnownNames(new ArrayList<>(), new ArrayList<>(), false);
     }
 
     /** The same, to which names that are no longer told may be added without harm. */
-    Names open() {
-        return new Names(new ArrayList<>(classes), new ArrayList<>(tenants), false);
+    KnownNames open() {
+        return new KnownNames(new ArrayList<>(classes), new ArrayList<>(tenants), false);
     }
 
     private int number(List<String> all, String name) {
--- a/src/main/java/elderseam/rules/Route.java
+++ b/src/main/java/elderseam/rules/Route.java
@@ -2,7 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
-import elderseam.rules.Surroundings.Breaker;
+import elderseam.rules.RuleEnvironment.Breaker;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -1,7 +1,7 @@
 package elderseam.rules;
 
-import elderseam.rules.lang.Err;
-import elderseam.rules.lang.Program;
+import elderseam.rules.cel.EvaluationError;
+import elderseam.rules.cel.Program;
 import java.time.Duration;
 
 /** One rule: when it matches, and what it makes of a message then; each result an expression of its own. */
@@ -13,7 +13,7 @@
     Program cls, tenant, destination, key, deadline, refuse, routeBy, limitBy;
     Route route;
     String subset = "";
-    Buckets limit;
+    KeyedRateLimiter limit;
     int priority = -1;
     long matched, errors;
 
@@ -28,26 +28,28 @@
     }
 
     /** Whether it matches; {@code a.error()} tells where that could not be said. */
-    boolean matches(Arrival a) {
+    boolean matches(RuleInput a) {
         return when == null || when.truth(a);
     }
 
     /** Evaluates every result; what went wrong, or null. */
-    Err evaluate(Arrival a, Rulebook book) {
-        Err e = null;
+    EvaluationError evaluate(RuleInput a, Rulebook book) {
+        EvaluationError e = null;
         if (cls != null) {
             clsResult = book.cls(cls.value(a));
-            e = a.error() != null ? a.error() : clsResult < 0 ? new Err("no such class") : null;
+            e = a.error() != null ? a.error() : clsResult < 0 ? new EvaluationError("no such class") : null;
         }
         if (e == null && tenant != null) {
             tenantResult = book.tenant(tenant.value(a));
-            e = a.error() != null ? a.error() : tenantResult < 0 ? new Err("no such tenant") : null;
+            e = a.error() != null ? a.error() : tenantResult < 0 ? new EvaluationError("no such tenant") : null;
         }
         if (e == null && destination != null) {
             destinationResult = destination.whole(a);
             e = a.error() != null
                     ? a.error()
-                    : Rulebook.destination(destinationResult) ? null : new Err("no destination: " + destinationResult);
+                    : Rulebook.destination(destinationResult)
+                            ? null
+                            : new EvaluationError("no destination: " + destinationResult);
         }
         if (e == null && key != null) {
             Object v = key.value(a);
@@ -55,16 +57,17 @@
             e = a.error() != null
                     ? a.error()
                     : keyResult.isEmpty() || keyResult.length() > MOST_KEY
-                            ? new Err("a key of " + keyResult.length() + " characters, allowed: 1 to " + MOST_KEY)
+                            ? new EvaluationError(
+                                    "a key of " + keyResult.length() + " characters, allowed: 1 to " + MOST_KEY)
                             : null;
         }
         if (e == null && deadline != null) {
             deadlineResult = ns(deadline.value(a));
-            e = a.error() != null ? a.error() : deadlineResult < 0 ? new Err("a deadline below 0") : null;
+            e = a.error() != null ? a.error() : deadlineResult < 0 ? new EvaluationError("a deadline below 0") : null;
         }
         if (e == null && refuse != null) {
             refuseResult = ns(refuse.value(a));
-            e = a.error() != null ? a.error() : refuseResult < 0 ? new Err("a time below 0") : null;
+            e = a.error() != null ? a.error() : refuseResult < 0 ? new EvaluationError("a time below 0") : null;
         }
         if (e == null && route != null) {
             e = route(a);
@@ -77,15 +80,16 @@
         return e;
     }
 
-    private Err route(Arrival a) {
+    private EvaluationError route(RuleInput a) {
         Object by = routeBy.value(a);
         if (!(by instanceof String s)) {
-            return a.error() != null ? a.error() : new Err("a route's key that is no string");
+            return a.error() != null ? a.error() : new EvaluationError("a route's key that is no string");
         }
         String told = route.header.isEmpty() ? "" : a.facts().headers().getOrDefault(route.header, "");
         destinationResult = route.destination(s, subset, told, a.wallMs(), a.state()::breaker);
         return destinationResult < 0
-                ? new Err("'" + told + "' in " + route.header + " is no destination or subset of route " + route.name)
+                ? new EvaluationError(
+                        "'" + told + "' in " + route.header + " is no destination or subset of route " + route.name)
                 : null;
     }
 
@@ -94,7 +98,7 @@
     }
 
     /** Sets what was evaluated. */
-    void apply(Ruling r) {
+    void apply(RuleResult r) {
         if (cls != null) {
             r.cls = clsResult;
         }
@@ -114,7 +118,7 @@
             r.priority = priority;
         }
         if (limit != null) {
-            r.charges.add(new Ruling.Charge(limit, limitKey));
+            r.charges.add(new RuleResult.Charge(limit, limitKey));
         }
         if (refuse != null) {
             r.refuseNs = refuseResult;
--- a/src/main/java/elderseam/rules/Decider.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -1,8 +1,8 @@
 package elderseam.rules;
 
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
-import elderseam.core.Facts;
-import elderseam.core.Stream;
+import elderseam.core.RequestAttributes;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -14,29 +14,30 @@
  * What is made of each message: by the rulebook in place, and, for keys, by the earlier ones of which keys are remembered. A message
  * that was taken on is never asked about again. Without I/O; one thread owns it.
  */
-public final class Decider {
+public final class RuleEngine {
     /** Earlier schemes that are asked about each message at the most. */
     public static final int MOST_REMEMBERED = 8;
     /** A message that is not urgent comes again after this while much is held. */
     private static final long LATER_NS = 1_000 * Clock.MS;
 
     /** {@code fault}: what is missing, or empty. */
-    public record Decided(Stream.Message message, List<String> also, String fault) {}
+    public record Decided(ActiveRequest.Message message, List<String> also, String fault) {}
 
     private final List<Long> deadlinesNs;
     private final long mostAgainNs;
     private final int mostHeld;
-    private final Surroundings state;
+    private final RuleEnvironment state;
     private final Consumer<String> log;
-    private final Map<Scheme, Rulebook> earlier = new LinkedHashMap<>();
-    private final Ruling ruling = new Ruling(false), scratch = new Ruling(false);
+    private final Map<IdempotencyKeyScheme, Rulebook> earlier = new LinkedHashMap<>();
+    private final RuleResult ruling = new RuleResult(false), scratch = new RuleResult(false);
     private Rulebook book; // or null
 
     /**
      * @param deadlinesNs by class: for a message that is given another
      * @param mostAgainNs no time to come back is longer; 0 for any
      */
-    public Decider(List<Long> deadlinesNs, long mostAgainNs, int mostHeld, Surroundings state, Consumer<String> log) {
+    public RuleEngine(
+            List<Long> deadlinesNs, long mostAgainNs, int mostHeld, RuleEnvironment state, Consumer<String> log) {
         this.deadlinesNs = List.copyOf(deadlinesNs);
         this.mostAgainNs = mostAgainNs;
         this.mostHeld = mostHeld;
@@ -65,7 +66,7 @@
     }
 
     /** Keys of this scheme are told too. */
-    public void remember(Scheme scheme, Rulebook of) {
+    public void remember(IdempotencyKeyScheme scheme, Rulebook of) {
         earlier.put(scheme, of);
     }
 
@@ -83,7 +84,7 @@
     }
 
     /** The message as rules have it. Whether it may be taken on, {@link #admit} says, at once and before another message is decided. */
-    public Decided decide(Stream.Message m, Facts facts, long now, long wallMs) {
+    public Decided decide(ActiveRequest.Message m, RequestAttributes facts, long now, long wallMs) {
         List<String> also = earlier.isEmpty() ? List.of() : new ArrayList<>();
         earlier.forEach((scheme, of) -> {
             of.decide(m, facts, state, now, wallMs, scratch);
@@ -102,7 +103,7 @@
         return new Decided(fault.isEmpty() ? changed(m, !also.isEmpty(), now) : m, also, fault);
     }
 
-    private Stream.Message changed(Stream.Message m, boolean known, long now) {
+    private ActiveRequest.Message changed(ActiveRequest.Message m, boolean known, long now) {
         String same = ruling.key.isEmpty() ? "" : book.scheme().same(ruling.key);
         boolean other = ruling.cls != m.cls();
         long deadline = m.deadline();
@@ -124,7 +125,7 @@
                 : Math.max(m.rememberUntil(), now + book.extent().rememberS() * 1_000L * Clock.MS);
         // with a key, one that may have run is failed and not refused: its copy may come as a class that must not run
         // twice
-        return new Stream.Message(
+        return new ActiveRequest.Message(
                 m.id(),
                 m.front(),
                 ruling.cls,
@@ -144,7 +145,7 @@
         if (ruling.refuseNs >= 0) {
             return bounded(Math.max(1, ruling.refuseNs));
         }
-        if (ruling.priority < Ruling.USUAL_PRIORITY && state.held() >= mostHeld / 10.0 * (ruling.priority + 1)) {
+        if (ruling.priority < RuleResult.USUAL_PRIORITY && state.held() >= mostHeld / 10.0 * (ruling.priority + 1)) {
             return bounded(LATER_NS);
         }
         return bounded(Rulebook.charge(ruling, now));
--- a/src/main/java/elderseam/rules/Surroundings.java
+++ b/src/main/java/elderseam/rules/RuleEnvironment.java
@@ -1,7 +1,7 @@
 package elderseam.rules;
 
 /** How the dispatcher stands, for rules that ask; asked on the thread that decides. */
-public interface Surroundings {
+public interface RuleEnvironment {
     /** How a destination's breaker stands. */
     enum Breaker {
         CLOSED,
--- a/src/main/java/elderseam/rules/Example.java
+++ b/src/main/java/elderseam/rules/RuleExample.java
@@ -1,7 +1,7 @@
 package elderseam.rules;
 
-import elderseam.settings.Sections.Section;
-import elderseam.settings.Sections.Value;
+import elderseam.settings.SectionFile.Section;
+import elderseam.settings.SectionFile.Value;
 import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** A request and what it is to get, that stands beside the rules. */
-public final class Example {
+public final class RuleExample {
     private static final Map<String, String> EXPECTS = Map.of(
             "expect_class",
             "class",
@@ -37,19 +37,19 @@
     }
 
     private final Section section;
-    private final Sample sample;
+    private final SampleRequest sample;
 
-    private Example(Section section, Sample sample) {
+    private RuleExample(Section section, SampleRequest sample) {
         this.section = section;
         this.sample = sample;
     }
 
-    static Example of(Section s, List<String> faults) {
+    static RuleExample of(Section s, List<String> faults) {
         List<String> own = new ArrayList<>();
         List<String> headers = s.values().getOrDefault("header", List.of()).stream()
                 .map(Value::text)
                 .toList();
-        Sample sample = Sample.of(s.text("request", ""), headers, s.text("body", ""), own);
+        SampleRequest sample = SampleRequest.of(s.text("request", ""), headers, s.text("body", ""), own);
         sample.state(s.text("state", ""), own);
         if (s.has("at")) {
             sample.at(s.text("at", ""), own);
@@ -59,7 +59,7 @@
                     + String.join(", ", EXPECTS.keySet().stream().sorted().toList()));
         }
         own.forEach(f -> faults.add(s.place() + f));
-        return new Example(s, sample);
+        return new RuleExample(s, sample);
     }
 
     public String name() {
@@ -67,8 +67,8 @@
     }
 
     /** What is not as expected, a line each; empty where it holds. */
-    public List<String> run(Rulebook book, Names names) {
-        Ruling r = new Ruling(true);
+    public List<String> run(Rulebook book, KnownNames names) {
+        RuleResult r = new RuleResult(true);
         sample.decide(book, names, r);
         Map<String, String> got = shown(r, names);
         List<String> failed = new ArrayList<>();
@@ -82,7 +82,7 @@
     }
 
     /** What a ruling says, as examples and people read it. */
-    static Map<String, String> shown(Ruling r, Names names) {
+    static Map<String, String> shown(RuleResult r, KnownNames names) {
         Map<String, String> all = new LinkedHashMap<>();
         all.put("class", r.cls < 0 ? "none" : names.classes().get(r.cls));
         all.put("tenant", r.tenant < 0 ? "none" : names.tenants().get(r.tenant));
@@ -108,8 +108,9 @@
     }
 
     /** What a request would get, and why. */
-    public static Map<String, String> eval(Loader.Loaded loaded, Names names, Sample sample, List<String> trace) {
-        Ruling r = new Ruling(true);
+    public static Map<String, String> eval(
+            RuleLoader.Loaded loaded, KnownNames names, SampleRequest sample, List<String> trace) {
+        RuleResult r = new RuleResult(true);
         sample.decide(loaded.book(), names, r);
         trace.addAll(r.trace);
         return shown(r, names);
--- a/src/main/java/elderseam/rules/Extent.java
+++ b/src/main/java/elderseam/rules/RuleLimits.java
@@ -1,6 +1,6 @@
 package elderseam.rules;
 
-import elderseam.settings.Keys;
+import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.time.ZoneId;
 
@@ -12,7 +12,7 @@
  * @param windowS seconds over which a tenant's rate is taken
  * @param rememberS seconds for which the end of a message with a key is remembered
  */
-public record Extent(
+public record RuleLimits(
         ZoneId zone,
         int bodyBytes,
         int bodyDepth,
@@ -24,18 +24,18 @@
         int rememberS) {
     static final int HEADERS = 64, HEADER_CHARS = 1_024, ATTRIBUTES = 32;
 
-    public static final Extent USUAL = of(Settings.none());
+    public static final RuleLimits USUAL = of(Settings.none());
 
-    public static Extent of(Settings s) {
-        return new Extent(
-                ZoneId.of(s.get(Keys.RULES_ZONE)),
-                s.get(Keys.RULES_BODY_BYTES).intValue(),
-                s.get(Keys.RULES_BODY_DEPTH).intValue(),
-                s.get(Keys.RULES_FIELD_CHARS).intValue(),
-                s.get(Keys.RULES_LIST_ITEMS).intValue(),
-                s.get(Keys.RULES_BUDGET),
-                s.get(Keys.RULES_REQUEST_BUDGET),
-                s.get(Keys.RULES_WINDOW_S).intValue(),
-                s.get(Keys.RULES_REMEMBER_S).intValue());
+    public static RuleLimits of(Settings s) {
+        return new RuleLimits(
+                ZoneId.of(s.get(SettingKeys.RULES_ZONE)),
+                s.get(SettingKeys.RULES_BODY_BYTES).intValue(),
+                s.get(SettingKeys.RULES_BODY_DEPTH).intValue(),
+                s.get(SettingKeys.RULES_FIELD_CHARS).intValue(),
+                s.get(SettingKeys.RULES_LIST_ITEMS).intValue(),
+                s.get(SettingKeys.RULES_BUDGET),
+                s.get(SettingKeys.RULES_REQUEST_BUDGET),
+                s.get(SettingKeys.RULES_WINDOW_S).intValue(),
+                s.get(SettingKeys.RULES_REMEMBER_S).intValue());
     }
 }
--- a/src/main/java/elderseam/rules/Loader.java
+++ b/src/main/java/elderseam/rules/RuleLoader.java
@@ -1,13 +1,13 @@
 package elderseam.rules;
 
-import elderseam.rules.lang.Expression;
-import elderseam.rules.lang.Fault;
-import elderseam.rules.lang.Program;
-import elderseam.rules.lang.Scope;
-import elderseam.rules.lang.Type;
-import elderseam.settings.Sections;
-import elderseam.settings.Sections.Section;
-import elderseam.settings.Sections.Value;
+import elderseam.rules.cel.Expression;
+import elderseam.rules.cel.ExpressionFault;
+import elderseam.rules.cel.Program;
+import elderseam.rules.cel.Scope;
+import elderseam.rules.cel.Type;
+import elderseam.settings.SectionFile;
+import elderseam.settings.SectionFile.Section;
+import elderseam.settings.SectionFile.Value;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
@@ -19,9 +19,9 @@
 import java.util.Set;
 
 /** Rules files to a {@link Rulebook}: read, typed, bounded, compiled and tested, whole or not at all; every fault is told. */
-public final class Loader {
+public final class RuleLoader {
     /** What a reading came to. {@code warnings}: what is allowed and most likely not meant. */
-    public record Loaded(Rulebook book, List<Example> examples, List<String> warnings, long bound) {}
+    public record Loaded(Rulebook book, List<RuleExample> examples, List<String> warnings, long bound) {}
 
     private static final Map<String, Set<String>> KEYS = Map.of(
             "table",
@@ -33,31 +33,31 @@
             "route",
             Set.of("to", "by", "fallback", "header", "canary", "canary_steps", "canary_every", "canary_from"),
             "example",
-            Example.KEYS,
+            RuleExample.KEYS,
             "scheme",
             Set.of("zone", "body_bytes", "body_depth", "field_chars", "list_items"));
     private static final List<String> KINDS = List.of("table", "rule", "route", "limit", "example");
     private static final int MOST_FAULTS = 200;
 
-    private final Extent extent;
-    private final Names names;
+    private final RuleLimits extent;
+    private final KnownNames names;
     private final Scope scope;
     private final boolean scheme;
     private final List<String> faults = new ArrayList<>(), warnings = new ArrayList<>();
     private final Map<String, Route> routes = new LinkedHashMap<>();
     private final Map<String, Program> routesBy = new LinkedHashMap<>(), limitsPer = new LinkedHashMap<>();
-    private final Map<String, Buckets> limits = new LinkedHashMap<>();
+    private final Map<String, KeyedRateLimiter> limits = new LinkedHashMap<>();
     private long bound;
 
-    private Loader(Extent extent, Names names, boolean scheme) {
+    private RuleLoader(RuleLimits extent, KnownNames names, boolean scheme) {
         this.extent = extent;
         this.names = names;
         this.scheme = scheme;
-        this.scope = Vocabulary.scope(extent);
+        this.scope = RuleVariables.scope(extent);
     }
 
     /** Reads files, in that order, and runs their examples: one that fails is a fault. */
-    public static Loaded load(List<Path> files, Extent extent, Names names) throws IOException {
+    public static Loaded load(List<Path> files, RuleLimits extent, KnownNames names) throws IOException {
         Loaded loaded = read(files, extent, names);
         List<String> failed = new ArrayList<>();
         loaded.examples.forEach(e -> failed.addAll(e.run(loaded.book, names)));
@@ -68,23 +68,23 @@
     }
 
     /** The same without running the examples. */
-    public static Loaded read(List<Path> files, Extent extent, Names names) throws IOException {
-        Loader l = new Loader(extent, names, false);
+    public static Loaded read(List<Path> files, RuleLimits extent, KnownNames names) throws IOException {
+        RuleLoader l = new RuleLoader(extent, names, false);
         List<Section> sections = new ArrayList<>();
         for (Path file : files) {
-            sections.addAll(Sections.read(file.toString(), Settings.lines(file, "a rules file"), KINDS, l.faults));
+            sections.addAll(SectionFile.read(file.toString(), Settings.lines(file, "a rules file"), KINDS, l.faults));
         }
         return l.load(sections);
     }
 
     /** What a scheme's text says, for its keys alone; names that are gone since do no harm. */
-    public static Rulebook scheme(Scheme s, Names names) throws IOException {
+    public static Rulebook scheme(IdempotencyKeyScheme s, KnownNames names) throws IOException {
         List<String> faults = new ArrayList<>();
-        List<Section> sections = Sections.read(
+        List<Section> sections = SectionFile.read(
                 "scheme " + s.name(), s.text().lines().toList(), List.of("table", "rule", "route", "scheme"), faults);
         Section head = sections.get(0);
-        Extent usual = Extent.USUAL;
-        Extent e = new Extent(
+        RuleLimits usual = RuleLimits.USUAL;
+        RuleLimits e = new RuleLimits(
                 java.time.ZoneId.of(head.text("zone", "UTC")),
                 Integer.parseInt(head.text("body_bytes", "0")),
                 Integer.parseInt(head.text("body_depth", "0")),
@@ -94,14 +94,15 @@
                 Long.MAX_VALUE >> 20,
                 usual.windowS(),
                 usual.rememberS());
-        return new Loader(e, names.open(), true).load(sections.subList(1, sections.size())).book;
+        return new RuleLoader(e, names.open(), true).load(sections.subList(1, sections.size())).book;
     }
 
     /** The checked tree of one expression, as a text; faults as those of a file. */
-    public static String explain(String text, Extent extent) throws SettingsFault {
-        Expression.Compiled c = Expression.compile(text, Vocabulary.scope(extent), Type.Plain.DYN, extent.budget());
+    public static String explain(String text, RuleLimits extent) throws SettingsFault {
+        Expression.Compiled c = Expression.compile(text, RuleVariables.scope(extent), Type.Plain.DYN, extent.budget());
         if (c.expression() == null) {
-            throw new SettingsFault(c.faults().stream().map(Fault::shown).toList());
+            throw new SettingsFault(
+                    c.faults().stream().map(ExpressionFault::shown).toList());
         }
         return String.format(java.util.Locale.ROOT, "%-56s %-24s %s%n", "part", "type", "most units")
                 + c.expression().explained() + "gives " + c.expression().type() + ", at most "
@@ -112,14 +113,14 @@
         sections.forEach(this::known);
         sections.stream().filter(s -> s.kind().equals("route")).forEach(this::route);
         sections.stream().filter(s -> s.kind().equals("limit")).forEach(this::limit);
-        List<Table> tables = new ArrayList<>();
+        List<RuleTable> tables = new ArrayList<>();
         List<Rule> rules = new ArrayList<>();
-        tables.add(new Table("rules", true, false, rules));
+        tables.add(new RuleTable("rules", true, false, rules));
         boolean keyed = false;
         for (Section s : sections) {
             if (s.kind().equals("table")) {
                 rules = new ArrayList<>();
-                tables.add(new Table(
+                tables.add(new RuleTable(
                         s.name(),
                         !word(s, "match", "first", Set.of("first", "all")).equals("all"),
                         word(s, "on_error", "skip", Set.of("skip", "refuse")).equals("refuse"),
@@ -134,20 +135,21 @@
             faults.add("rules: all of them may cost " + bound + " units for one request, allowed: "
                     + extent.requestBudget() + " (rules.request_budget)");
         }
-        Scheme own = keyed ? Scheme.of(SchemeText.of(sections, extent)) : null;
-        if (own != null && own.text().length() > Scheme.MOST_TEXT) {
+        IdempotencyKeyScheme own =
+                keyed ? IdempotencyKeyScheme.of(IdempotencyKeySchemeText.of(sections, extent)) : null;
+        if (own != null && own.text().length() > IdempotencyKeyScheme.MOST_TEXT) {
             faults.add("rules: what its keys stand on is " + own.text().length() + " characters, allowed: "
-                    + Scheme.MOST_TEXT);
+                    + IdempotencyKeyScheme.MOST_TEXT);
         }
-        List<Example> examples = sections.stream()
+        List<RuleExample> examples = sections.stream()
                 .filter(s -> s.kind().equals("example"))
-                .map(s -> Example.of(s, faults))
+                .map(s -> RuleExample.of(s, faults))
                 .toList();
         if (!faults.isEmpty()) {
             throw new SettingsFault(faults.subList(0, Math.min(faults.size(), MOST_FAULTS)));
         }
-        Rates rates = new Rates(names.told() ? names.tenants().size() : 1_000, extent.windowS());
-        Arrival arrival = new Arrival(extent, scope, names.classes(), names.tenants(), rates);
+        TenantRates rates = new TenantRates(names.told() ? names.tenants().size() : 1_000, extent.windowS());
+        RuleInput arrival = new RuleInput(extent, scope, names.classes(), names.tenants(), rates);
         return new Loaded(
                 new Rulebook(extent, names.classes(), names.tenants(), tables, limits, arrival, rates, own),
                 examples,
@@ -202,7 +204,7 @@
             return null;
         }
         Expression.Compiled c = Expression.compile(v.text(), scope, gives, extent.budget());
-        for (Fault f : c.faults()) {
+        for (ExpressionFault f : c.faults()) {
             int line = v.line() + f.line() - 1, column = f.line() == 1 ? v.column() + f.column() - 1 : f.column();
             String[] shown = f.shown().split("\n", 2);
             faults.add(s.file() + ":" + line + ":" + column + ": " + s.kind() + "." + s.name() + "." + key + ": "
@@ -233,13 +235,13 @@
         if (key != null) {
             r.key = key.program();
             key.names().stream()
-                    .filter(Vocabulary::passing)
+                    .filter(RuleVariables::passing)
                     .findFirst()
                     .ifPresent(n -> faults.add(s.place(s.value("key"), "key") + "'" + n
                             + "' is another for each copy of a message, allowed: what both copies have in common"));
             if (when != null) {
                 when.names().stream()
-                        .filter(Vocabulary::passing)
+                        .filter(RuleVariables::passing)
                         .findFirst()
                         .ifPresent(n -> warnings.add(s.place(s.value("when"), "when") + "'" + n
                                 + "' may be another for a second copy, which then has no key, or another"));
@@ -326,7 +328,7 @@
                 : Expression.compile("''", scope, Type.Plain.STRING, 10)
                         .expression()
                         .program();
-        limits.put(s.name(), new Buckets(s.name(), Math.max(0.0001, rate), Math.max(1, burst), keys));
+        limits.put(s.name(), new KeyedRateLimiter(s.name(), Math.max(0.0001, rate), Math.max(1, burst), keys));
         limitsPer.put(s.name(), per);
     }
 
--- a/src/main/java/elderseam/rules/Ruling.java
+++ b/src/main/java/elderseam/rules/RuleResult.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /** What the tables made of a message: what is not set stays as it was. Used again for each message. */
-final class Ruling {
+final class RuleResult {
     /** A limit that the message falls under, with its key. */
-    record Charge(Buckets limit, String key) {}
+    record Charge(KeyedRateLimiter limit, String key) {}
 
     static final int USUAL_PRIORITY = 5;
 
@@ -16,7 +16,7 @@
     final List<Charge> charges = new ArrayList<>(2);
     final List<String> trace; // what matched and why not, where that is asked for; else null
 
-    Ruling(boolean traced) {
+    RuleResult(boolean traced) {
         trace = traced ? new ArrayList<>() : null;
     }
 
--- a/src/main/java/elderseam/rules/Table.java
+++ b/src/main/java/elderseam/rules/RuleTable.java
@@ -1,10 +1,10 @@
 package elderseam.rules;
 
-import elderseam.rules.lang.Err;
+import elderseam.rules.cel.EvaluationError;
 import java.util.List;
 
 /** Rules in their order: the first that matches counts, or all that do, a later one over an earlier. */
-final class Table {
+final class RuleTable {
     static final long REFUSED_NS = 1_000_000_000L; // with a rule in error, where errors refuse
 
     final String name;
@@ -12,7 +12,7 @@
     final List<Rule> rules;
 
     /** {@code refuses}: a message on which a rule ends in an error is refused; else it is as if that rule did not match. */
-    Table(String name, boolean first, boolean refuses, List<Rule> rules) {
+    RuleTable(String name, boolean first, boolean refuses, List<Rule> rules) {
         this.name = name;
         this.first = first;
         this.refuses = refuses;
@@ -20,10 +20,10 @@
     }
 
     /** The rules of one table see the message as it was when the table began. */
-    void decide(Arrival a, Ruling r, Rulebook book) {
+    void decide(RuleInput a, RuleResult r, Rulebook book) {
         for (Rule rule : rules) {
             boolean matches = rule.matches(a);
-            Err e = a.error();
+            EvaluationError e = a.error();
             if (e == null && !matches) {
                 trace(r, rule, " does not match");
                 continue;
@@ -54,7 +54,7 @@
         a.destination = r.destination;
     }
 
-    private void trace(Ruling r, Rule rule, String words) {
+    private void trace(RuleResult r, Rule rule, String words) {
         if (r.trace != null) {
             r.trace.add("table " + name + ": rule " + rule.name + words);
         }
--- a/src/main/java/elderseam/rules/Vocabulary.java
+++ b/src/main/java/elderseam/rules/RuleVariables.java
@@ -1,18 +1,18 @@
 package elderseam.rules;
 
-import static elderseam.rules.lang.Type.Plain.BOOL;
-import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.DURATION;
-import static elderseam.rules.lang.Type.Plain.INT;
-import static elderseam.rules.lang.Type.Plain.STRING;
-import static elderseam.rules.lang.Type.Plain.TIMESTAMP;
+import static elderseam.rules.cel.Type.Plain.BOOL;
+import static elderseam.rules.cel.Type.Plain.DOUBLE;
+import static elderseam.rules.cel.Type.Plain.DURATION;
+import static elderseam.rules.cel.Type.Plain.INT;
+import static elderseam.rules.cel.Type.Plain.STRING;
+import static elderseam.rules.cel.Type.Plain.TIMESTAMP;
 
-import elderseam.rules.lang.Scope;
-import elderseam.rules.lang.Size;
-import elderseam.rules.lang.Type;
+import elderseam.rules.cel.Scope;
+import elderseam.rules.cel.Type;
+import elderseam.rules.cel.ValueSize;
 
 /** The names that rules may use; their numbers are those of the constants, fields of a body follow. */
-final class Vocabulary {
+final class RuleVariables {
     static final int FRONT = 0,
             METHOD = 1,
             PATH = 2,
@@ -43,37 +43,37 @@
             DAYS_LEFT = 27,
             NAMES = 28;
 
-    private Vocabulary() {}
+    private RuleVariables() {}
 
-    static Scope scope(Extent e) {
+    static Scope scope(RuleLimits e) {
         Type texts = new Type.MapType(STRING, STRING);
-        Size word = Size.text(64), line = Size.text(Extent.HEADER_CHARS);
+        ValueSize word = ValueSize.text(64), line = ValueSize.text(RuleLimits.HEADER_CHARS);
         Scope s = new Scope()
                 .name("request.front", STRING, word)
                 .name("request.method", STRING, word)
                 .name("request.path", STRING, line)
-                .name("request.headers", texts, Size.list(Extent.HEADERS, line))
+                .name("request.headers", texts, ValueSize.list(RuleLimits.HEADERS, line))
                 .name("request.source", STRING, word)
-                .name("request.size", INT, Size.ONE)
+                .name("request.size", INT, ValueSize.ONE)
                 .name("message.id", STRING, word)
                 .name("message.class", STRING, word)
                 .name("message.tenant", STRING, word)
-                .name("message.destination", INT, Size.ONE)
-                .name("message.remaining", DURATION, Size.ONE)
-                .name("message.resent", BOOL, Size.ONE)
-                .name("message.key", STRING, Size.text(256))
-                .name("event", texts, Size.list(Extent.ATTRIBUTES, line))
-                .name("state.rate", DOUBLE, Size.ONE)
-                .name("state.share", DOUBLE, Size.ONE)
+                .name("message.destination", INT, ValueSize.ONE)
+                .name("message.remaining", DURATION, ValueSize.ONE)
+                .name("message.resent", BOOL, ValueSize.ONE)
+                .name("message.key", STRING, ValueSize.text(256))
+                .name("event", texts, ValueSize.list(RuleLimits.ATTRIBUTES, line))
+                .name("state.rate", DOUBLE, ValueSize.ONE)
+                .name("state.share", DOUBLE, ValueSize.ONE)
                 .name("state.breaker", STRING, word)
-                .name("state.in_flight", INT, Size.ONE)
-                .name("state.wait", DURATION, Size.ONE)
-                .name("state.held", INT, Size.ONE)
-                .name("now", TIMESTAMP, Size.ONE);
+                .name("state.in_flight", INT, ValueSize.ONE)
+                .name("state.wait", DURATION, ValueSize.ONE)
+                .name("state.held", INT, ValueSize.ONE)
+                .name("now", TIMESTAMP, ValueSize.ONE);
         for (String part : new String[] {"year", "month", "day", "hour", "minute", "weekday", "days_left"}) {
-            s.name("local." + part, INT, Size.ONE);
+            s.name("local." + part, INT, ValueSize.ONE);
         }
-        return s.open("body", Size.any(e.fieldChars(), e.listItems(), e.bodyDepth()));
+        return s.open("body", ValueSize.any(e.fieldChars(), e.listItems(), e.bodyDepth()));
     }
 
     /** Whether a name's value is another for each of two copies of one message. */
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -1,9 +1,9 @@
 package elderseam.rules;
 
-import elderseam.core.Facts;
-import elderseam.core.Relay;
-import elderseam.core.Stream;
-import elderseam.rules.lang.Err;
+import elderseam.core.ActiveRequest;
+import elderseam.core.RequestAttributes;
+import elderseam.core.RequestDispatcher;
+import elderseam.rules.cel.EvaluationError;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -13,26 +13,26 @@
     private static final long QUIET_NS = 10_000_000_000L; // between two words on the errors of one rule
     private static final int MOST_WORDS = 5; // a second, on all of them
 
-    private final Extent extent;
+    private final RuleLimits extent;
     private final List<String> classes, tenants;
-    private final List<Table> tables;
-    private final Map<String, Buckets> limits;
-    private final Arrival arrival;
-    private final Rates rates;
-    private final Scheme scheme;
+    private final List<RuleTable> tables;
+    private final Map<String, KeyedRateLimiter> limits;
+    private final RuleInput arrival;
+    private final TenantRates rates;
+    private final IdempotencyKeyScheme scheme;
     private final Map<Rule, Long> told = new java.util.IdentityHashMap<>();
     private Consumer<String> log = words -> {};
     private long second, words;
 
     Rulebook(
-            Extent extent,
+            RuleLimits extent,
             List<String> classes,
             List<String> tenants,
-            List<Table> tables,
-            Map<String, Buckets> limits,
-            Arrival arrival,
-            Rates rates,
-            Scheme scheme) {
+            List<RuleTable> tables,
+            Map<String, KeyedRateLimiter> limits,
+            RuleInput arrival,
+            TenantRates rates,
+            IdempotencyKeyScheme scheme) {
         this.extent = extent;
         this.classes = classes;
         this.tenants = tenants;
@@ -48,12 +48,12 @@
         this.log = log;
     }
 
-    Extent extent() {
+    RuleLimits extent() {
         return extent;
     }
 
     /** By what its keys are told again; null where no rule yields one. */
-    public Scheme scheme() {
+    public IdempotencyKeyScheme scheme() {
         return scheme;
     }
 
@@ -67,7 +67,13 @@
     }
 
     /** What the tables make of a message; {@code now} of the dispatcher's clock, in ns. */
-    void decide(Stream.Message m, Facts facts, Surroundings state, long now, long wallMs, Ruling into) {
+    void decide(
+            ActiveRequest.Message m,
+            RequestAttributes facts,
+            RuleEnvironment state,
+            long now,
+            long wallMs,
+            RuleResult into) {
         decide(
                 m.id(),
                 m.cls(),
@@ -91,11 +97,11 @@
             long remainingNs,
             boolean resent,
             String key,
-            Facts facts,
-            Surroundings state,
+            RequestAttributes facts,
+            RuleEnvironment state,
             long now,
             long wallMs,
-            Ruling into) {
+            RuleResult into) {
         arrival.begin(facts, state, now, wallMs);
         arrival.id = id;
         arrival.cls = cls;
@@ -111,14 +117,14 @@
     }
 
     /** How long a message had better stay away by the limits that it falls under; where it is 0 it has been counted under each. */
-    static long charge(Ruling r, long now) {
+    static long charge(RuleResult r, long now) {
         long wait = 0;
         for (int i = 0; i < r.charges.size(); i++) {
-            Ruling.Charge c = r.charges.get(i);
+            RuleResult.Charge c = r.charges.get(i);
             wait = Math.max(wait, c.limit().waitNs(c.key(), now));
         }
         for (int i = 0; wait == 0 && i < r.charges.size(); i++) {
-            Ruling.Charge c = r.charges.get(i);
+            RuleResult.Charge c = r.charges.get(i);
             c.limit().take(c.key(), now);
         }
         return wait;
@@ -143,10 +149,10 @@
     }
 
     static boolean destination(long number) {
-        return number >= 0 && number < Relay.NOWHERE;
+        return number >= 0 && number < RequestDispatcher.NOWHERE;
     }
 
-    void erred(Rule rule, Err e, long now) {
+    void erred(Rule rule, EvaluationError e, long now) {
         Long last = told.get(rule);
         if (last != null && now - last < QUIET_NS) {
             return;
@@ -163,7 +169,7 @@
     /** What each rule did so far, a line each. */
     public String counts() {
         StringBuilder all = new StringBuilder();
-        for (Table t : tables) {
+        for (RuleTable t : tables) {
             t.rules.forEach(r -> all.append(all.isEmpty() ? "" : ", ")
                     .append(r.name)
                     .append(' ')
--- a/src/main/java/elderseam/rules/Sample.java
+++ b/src/main/java/elderseam/rules/SampleRequest.java
@@ -1,6 +1,6 @@
 package elderseam.rules;
 
-import elderseam.core.Facts;
+import elderseam.core.RequestAttributes;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.OffsetDateTime;
@@ -15,7 +15,7 @@
  * A request made up for an example or for {@code rules eval}: its text as on the wire, and how the dispatcher is to stand. A request for
  * {@code /events} is an event in binary mode; any other is one of the platform's, whose path names the class.
  */
-public final class Sample implements Facts, Surroundings {
+public final class SampleRequest implements RequestAttributes, RuleEnvironment {
     /** What a sample's state may tell. */
     static final String STATE =
             "rate=NUMBER share=NUMBER breaker=closed|half_open|open in_flight=N wait=SECONDS held=N remaining=SECONDS";
@@ -25,7 +25,7 @@
     private final byte[] body;
     private Instant at = Instant.parse("2026-01-01T00:00:00Z");
 
-    private Sample(String method, String path, Map<String, String> headers, byte[] body) {
+    private SampleRequest(String method, String path, Map<String, String> headers, byte[] body) {
         this.method = method;
         this.path = path;
         this.headers = headers;
@@ -38,11 +38,11 @@
     }
 
     /** Of a request's first line, its header lines and its body; what is wrong with it is added to the faults. */
-    static Sample of(String first, List<String> headerLines, String body, List<String> faults) {
+    static SampleRequest of(String first, List<String> headerLines, String body, List<String> faults) {
         String[] words = first.strip().split(" +");
         if (words.length < 2 || !words[0].matches("[A-Z]+") || !words[1].startsWith("/")) {
             faults.add("'" + first + "' is no first line of a request, allowed: such as POST /invoice");
-            return new Sample("POST", "/", Map.of(), new byte[0]);
+            return new SampleRequest("POST", "/", Map.of(), new byte[0]);
         }
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String h : headerLines) {
@@ -55,11 +55,11 @@
                         h.substring(colon + 1).strip());
             }
         }
-        return new Sample(words[0], words[1], headers, body.getBytes(StandardCharsets.UTF_8));
+        return new SampleRequest(words[0], words[1], headers, body.getBytes(StandardCharsets.UTF_8));
     }
 
     /** A request's text, lines ended by LF or CRLF, with an empty line before the body. */
-    public static Sample read(String text, List<String> faults) {
+    public static SampleRequest read(String text, List<String> faults) {
         String plain = text.replace("\r\n", "\n");
         int end = plain.indexOf("\n\n");
         List<String> head = new ArrayList<>(
@@ -94,7 +94,7 @@
     }
 
     /** What a rulebook makes of it. Limits are not charged. */
-    void decide(Rulebook book, Names names, Ruling into) {
+    void decide(Rulebook book, KnownNames names, RuleResult into) {
         boolean event = front().equals("events");
         String dest = event ? header("ce-destination") : header("x-addressing").replace("dest=", "");
         String id = event ? header("ce-source") + header("ce-id") : header("x-txn");
--- a/src/main/java/elderseam/rules/Rates.java
+++ b/src/main/java/elderseam/rules/TenantRates.java
@@ -4,14 +4,14 @@
  * How many messages a second each tenant hands in, over a window cut into {@value #PARTS} parts: the rate is that of the last whole
  * window, the present part included, so it may be short by one part. Those of no known tenant count together.
  */
-final class Rates {
+final class TenantRates {
     private static final int PARTS = 16;
 
     private final long partNs;
     private final int[][] counts;
     private final long[] parts; // the part that was counted last, by tenant
 
-    Rates(int tenants, int windowS) {
+    TenantRates(int tenants, int windowS) {
         partNs = Math.max(1, windowS * 1_000_000_000L / PARTS);
         counts = new int[tenants + 1][PARTS];
         parts = new long[tenants + 1];
@@ -33,7 +33,7 @@
     }
 
     /** Goes on with what an earlier one counted, where it counted alike. */
-    void inherit(Rates old) {
+    void inherit(TenantRates old) {
         if (old.partNs == partNs && old.counts.length == counts.length) {
             for (int i = 0; i < counts.length; i++) {
                 System.arraycopy(old.counts[i], 0, counts[i], 0, PARTS);
--- a/src/main/java/elderseam/rules/lang/Arithmetic.java
+++ b/src/main/java/elderseam/rules/cel/Arithmetic.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -15,7 +15,7 @@
             if (x instanceof Long a && y instanceof Long b) {
                 return ints(sign, a, b);
             }
-            if (x instanceof Uint a && y instanceof Uint b) {
+            if (x instanceof UnsignedLong a && y instanceof UnsignedLong b) {
                 return uints(sign, a.bits(), b.bits());
             }
             if (x instanceof Double a && y instanceof Double b) {
@@ -24,38 +24,41 @@
                     case '-' -> a - b;
                     case '*' -> a * b;
                     case '/' -> a / b;
-                    default -> Err.NO_OVERLOAD;
+                    default -> EvaluationError.NO_OVERLOAD;
                 };
             }
-            return sign == '+' ? plus(x, y) : sign == '-' ? minus(x, y) : Err.NO_OVERLOAD;
+            return sign == '+' ? plus(x, y) : sign == '-' ? minus(x, y) : EvaluationError.NO_OVERLOAD;
         } catch (ArithmeticException | java.time.DateTimeException e) {
-            return Err.OVERFLOW;
+            return EvaluationError.OVERFLOW;
         }
     }
 
     private static Object ints(char sign, long a, long b) {
         if ((sign == '/' || sign == '%') && b == 0) {
-            return Err.BY_ZERO;
+            return EvaluationError.BY_ZERO;
         }
         return switch (sign) {
             case '+' -> Math.addExact(a, b);
             case '-' -> Math.subtractExact(a, b);
             case '*' -> Math.multiplyExact(a, b);
             default ->
-                a == Long.MIN_VALUE && b == -1 ? Err.OVERFLOW : sign == '/' ? (Object) (a / b) : (Object) (a % b);
+                a == Long.MIN_VALUE && b == -1
+                        ? EvaluationError.OVERFLOW
+                        : sign == '/' ? (Object) (a / b) : (Object) (a % b);
         };
     }
 
     private static Object uints(char sign, long a, long b) {
         if ((sign == '/' || sign == '%') && b == 0) {
-            return Err.BY_ZERO;
+            return EvaluationError.BY_ZERO;
         }
         return switch (sign) {
-            case '+' -> Long.compareUnsigned(a + b, a) < 0 ? Err.OVERFLOW : new Uint(a + b);
-            case '-' -> Long.compareUnsigned(a, b) < 0 ? Err.OVERFLOW : new Uint(a - b);
-            case '*' -> a != 0 && Long.divideUnsigned(a * b, a) != b ? Err.OVERFLOW : new Uint(a * b);
-            case '/' -> new Uint(Long.divideUnsigned(a, b));
-            default -> new Uint(Long.remainderUnsigned(a, b));
+            case '+' -> Long.compareUnsigned(a + b, a) < 0 ? EvaluationError.OVERFLOW : new UnsignedLong(a + b);
+            case '-' -> Long.compareUnsigned(a, b) < 0 ? EvaluationError.OVERFLOW : new UnsignedLong(a - b);
+            case '*' ->
+                a != 0 && Long.divideUnsigned(a * b, a) != b ? EvaluationError.OVERFLOW : new UnsignedLong(a * b);
+            case '/' -> new UnsignedLong(Long.divideUnsigned(a, b));
+            default -> new UnsignedLong(Long.remainderUnsigned(a, b));
         };
     }
 
@@ -66,17 +69,19 @@
         if (x instanceof List<?> a && y instanceof List<?> b) {
             return Functions.joined(a, b);
         }
-        if (x instanceof Bytes a && y instanceof Bytes b) {
+        if (x instanceof ByteSequence a && y instanceof ByteSequence b) {
             byte[] all = Arrays.copyOf(a.octets, a.octets.length + b.octets.length);
             System.arraycopy(b.octets, 0, all, a.octets.length, b.octets.length);
-            return new Bytes(all);
+            return new ByteSequence(all);
         }
         if (x instanceof Instant && y instanceof Duration || y instanceof Instant && x instanceof Duration) {
             return x instanceof Instant t
                     ? Functions.inRange(t.plus((Duration) y))
                     : Functions.inRange(((Instant) y).plus((Duration) x));
         }
-        return x instanceof Duration a && y instanceof Duration b ? Functions.inRange(a.plus(b)) : Err.NO_OVERLOAD;
+        return x instanceof Duration a && y instanceof Duration b
+                ? Functions.inRange(a.plus(b))
+                : EvaluationError.NO_OVERLOAD;
     }
 
     private static Object minus(Object x, Object y) {
@@ -86,6 +91,8 @@
         if (x instanceof Instant a && y instanceof Duration b) {
             return Functions.inRange(a.minus(b));
         }
-        return x instanceof Duration a && y instanceof Duration b ? Functions.inRange(a.minus(b)) : Err.NO_OVERLOAD;
+        return x instanceof Duration a && y instanceof Duration b
+                ? Functions.inRange(a.minus(b))
+                : EvaluationError.NO_OVERLOAD;
     }
 }
--- a/src/main/java/elderseam/rules/lang/Bytes.java
+++ b/src/main/java/elderseam/rules/cel/ByteSequence.java
@@ -1,12 +1,12 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.Arrays;
 
 /** Octets that nobody changes. */
-public final class Bytes implements Comparable<Bytes> {
+public final class ByteSequence implements Comparable<ByteSequence> {
     final byte[] octets;
 
-    public Bytes(byte[] octets) {
+    public ByteSequence(byte[] octets) {
         this.octets = octets.clone();
     }
 
@@ -15,13 +15,13 @@
     }
 
     @Override
-    public int compareTo(Bytes o) {
+    public int compareTo(ByteSequence o) {
         return Arrays.compareUnsigned(octets, o.octets);
     }
 
     @Override
     public boolean equals(Object o) {
-        return o instanceof Bytes b && Arrays.equals(octets, b.octets);
+        return o instanceof ByteSequence b && Arrays.equals(octets, b.octets);
     }
 
     @Override
--- a/src/main/java/elderseam/rules/lang/Checker.java
+++ b/src/main/java/elderseam/rules/cel/Checker.java
@@ -1,13 +1,13 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import static elderseam.rules.lang.Type.Plain.BOOL;
-import static elderseam.rules.lang.Type.Plain.BYTES;
-import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.DYN;
-import static elderseam.rules.lang.Type.Plain.INT;
-import static elderseam.rules.lang.Type.Plain.NULL;
-import static elderseam.rules.lang.Type.Plain.STRING;
-import static elderseam.rules.lang.Type.Plain.UINT;
+import static elderseam.rules.cel.Type.Plain.BOOL;
+import static elderseam.rules.cel.Type.Plain.BYTES;
+import static elderseam.rules.cel.Type.Plain.DOUBLE;
+import static elderseam.rules.cel.Type.Plain.DYN;
+import static elderseam.rules.cel.Type.Plain.INT;
+import static elderseam.rules.cel.Type.Plain.NULL;
+import static elderseam.rules.cel.Type.Plain.STRING;
+import static elderseam.rules.cel.Type.Plain.UINT;
 
 import java.time.DateTimeException;
 import java.time.ZoneId;
@@ -24,7 +24,7 @@
     private final Scope scope;
     private final Map<String, Type> variables = new HashMap<>(); // of macros
     private final Map<Ast, Type> types = new IdentityHashMap<>();
-    private final List<Fault> faults = new ArrayList<>();
+    private final List<ExpressionFault> faults = new ArrayList<>();
 
     private Checker(String text, Scope scope) {
         this.text = text;
@@ -32,20 +32,20 @@
     }
 
     /** The type of each node. */
-    static Map<Ast, Type> check(String text, Ast tree, Scope scope, Type asked) throws FaultException {
+    static Map<Ast, Type> check(String text, Ast tree, Scope scope, Type asked) throws ExpressionException {
         Checker c = new Checker(text, scope);
         Type t = c.type(tree);
         if (!Type.fits(t, asked)) {
             c.fault(tree, "gives " + t + " where " + asked + " is expected");
         }
         if (!c.faults.isEmpty()) {
-            throw new FaultException(List.copyOf(c.faults));
+            throw new ExpressionException(List.copyOf(c.faults));
         }
         return c.types;
     }
 
     private Type fault(Ast at, String words) {
-        faults.add(Fault.at(text, at.at(), words));
+        faults.add(ExpressionFault.at(text, at.at(), words));
         return DYN;
     }
 
@@ -74,11 +74,11 @@
                 ? BOOL
                 : v instanceof Long
                         ? INT
-                        : v instanceof Uint
+                        : v instanceof UnsignedLong
                                 ? UINT
                                 : v instanceof Double
                                         ? DOUBLE
-                                        : v instanceof String ? STRING : v instanceof Bytes ? BYTES : NULL;
+                                        : v instanceof String ? STRING : v instanceof ByteSequence ? BYTES : NULL;
     }
 
     private Type name(Ast.Name x) {
--- a/src/main/java/elderseam/rules/lang/Structures.java
+++ b/src/main/java/elderseam/rules/cel/CollectionSteps.java
@@ -1,33 +1,33 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
-import elderseam.rules.lang.Program.Any;
+import elderseam.rules.cel.Program.Any;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /** Steps over lists and maps, and calls of the reference's library for all that has no step of its own. */
-final class Structures {
-    private Structures() {}
+final class CollectionSteps {
+    private CollectionSteps() {}
 
-    private static Object failed(Inputs in, Err e) {
+    private static Object failed(EvaluationInputs in, EvaluationError e) {
         in.fail(e);
         return null;
     }
 
     static Any select(Any of, String field, boolean has) {
-        long cost = Size.text(field.length()).whole();
+        long cost = ValueSize.text(field.length()).whole();
         return in -> {
             Object m = of.of(in);
             if (in.error != null) {
                 return null;
             }
             if (!(m instanceof Map<?, ?> map)) {
-                return failed(in, Err.NO_OVERLOAD);
+                return failed(in, EvaluationError.NO_OVERLOAD);
             }
             Object v = in.spend(cost) ? map.get(field) : null;
-            return has ? (Object) (v != null) : v != null ? v : failed(in, Err.NO_KEY);
+            return has ? (Object) (v != null) : v != null ? v : failed(in, EvaluationError.NO_KEY);
         };
     }
 
@@ -51,14 +51,14 @@
             for (int i = 0; i < keys.length; i++) {
                 Object k = keys[i].of(in);
                 Object v = in.error != null ? null : values[i].of(in);
-                if (in.error != null || !in.spend(Cost.of(k).whole())) {
+                if (in.error != null || !in.spend(CostModel.of(k).whole())) {
                     return null;
                 }
-                if (!(k instanceof Long || k instanceof Uint || k instanceof String || k instanceof Boolean)) {
-                    return failed(in, Err.NO_OVERLOAD);
+                if (!(k instanceof Long || k instanceof UnsignedLong || k instanceof String || k instanceof Boolean)) {
+                    return failed(in, EvaluationError.NO_OVERLOAD);
                 }
                 if (Functions.lookup(all, k) != null) {
-                    return failed(in, Err.DUPLICATE);
+                    return failed(in, EvaluationError.DUPLICATE);
                 }
                 all.put(k, v);
             }
@@ -70,28 +70,28 @@
         boolean items = function.equals("in") || function.equals("==") || function.equals("!=");
         return in -> {
             Object[] values = new Object[args.length];
-            Size[] sizes = items ? null : new Size[args.length];
+            ValueSize[] sizes = items ? null : new ValueSize[args.length];
             for (int i = 0; i < args.length; i++) {
                 values[i] = args[i].of(in);
                 if (in.error != null) {
                     return null;
                 }
                 if (!items) {
-                    sizes[i] = Cost.of(values[i]);
+                    sizes[i] = CostModel.of(values[i]);
                 }
             }
-            if (!in.spend(items ? 1 : Cost.of(function, sizes))) { // what goes through items counts them itself
+            if (!in.spend(items ? 1 : CostModel.of(function, sizes))) { // what goes through items counts them itself
                 return null;
             }
             if (pattern != null) {
                 return values[0] instanceof String s
                         ? (Object) pattern.matcher(s).find()
-                        : failed(in, Err.NO_OVERLOAD);
+                        : failed(in, EvaluationError.NO_OVERLOAD);
             }
-            Counter counter = in.counter();
+            CostCounter counter = in.counter();
             Object v = Functions.call(function, values, counter);
             in.spent(counter);
-            return v instanceof Err e ? failed(in, e) : in.error != null ? null : v;
+            return v instanceof EvaluationError e ? failed(in, e) : in.error != null ? null : v;
         };
     }
 }
--- a/src/main/java/elderseam/rules/lang/Rounds.java
+++ b/src/main/java/elderseam/rules/cel/ComprehensionEvaluator.java
@@ -1,13 +1,13 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import elderseam.rules.lang.Program.Any;
-import elderseam.rules.lang.Program.Truth;
+import elderseam.rules.cel.Program.Any;
+import elderseam.rules.cel.Program.Truth;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
 /** A comprehension: over a list's items or a map's keys. */
-final class Rounds implements Truth {
+final class ComprehensionEvaluator implements Truth {
     private static final int ROUND = 2; // itself, and the least that a body costs
 
     private enum Kind {
@@ -23,7 +23,7 @@
     private final Truth filter, test;
     private final int place;
 
-    Rounds(Planner planner, Ast.Each x) {
+    ComprehensionEvaluator(Planner planner, Ast.Each x) {
         kind = switch (x.macro()) {
             case "all" -> Kind.ALL;
             case "exists" -> Kind.EXISTS;
@@ -40,20 +40,20 @@
         planner.leave(x.variable(), hidden);
     }
 
-    private Iterable<?> items(Inputs in) {
+    private Iterable<?> items(EvaluationInputs in) {
         Object r = range.of(in);
         if (in.error != null) {
             return null;
         }
         Iterable<?> items = r instanceof List<?> l ? l : r instanceof Map<?, ?> m ? m.keySet() : null;
         if (items == null) {
-            in.fail(Err.NO_OVERLOAD);
+            in.fail(EvaluationError.NO_OVERLOAD);
         }
         return items;
     }
 
     @Override
-    public boolean of(Inputs in) {
+    public boolean of(EvaluationInputs in) {
         Iterable<?> items = items(in);
         if (items == null) {
             return false;
@@ -65,8 +65,8 @@
     }
 
     /** {@code all} and {@code exists} take errors up where another item decides; {@code exists_one} does not. */
-    private boolean tested(Inputs in, Iterable<?> items) {
-        Err error = null;
+    private boolean tested(EvaluationInputs in, Iterable<?> items) {
+        EvaluationError error = null;
         int trues = 0;
         for (Object item : items) {
             in.variables[place] = item;
@@ -93,7 +93,7 @@
     }
 
     /** Of filter and map: the list; of the others the bool. */
-    Object collect(Inputs in) {
+    Object collect(EvaluationInputs in) {
         if (kind != Kind.FILTER && kind != Kind.MAP) {
             boolean v = of(in);
             return in.error != null ? null : (Object) v;
--- a/src/main/java/elderseam/rules/lang/Counter.java
+++ b/src/main/java/elderseam/rules/cel/CostCounter.java
@@ -1,16 +1,16 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /** What an evaluation has cost so far, and may. */
-final class Counter {
+final class CostCounter {
     private final long most;
     private long count;
 
-    Counter(long most) {
+    CostCounter(long most) {
         this.most = most;
     }
 
     void count(long units) {
-        count = Size.add(count, units);
+        count = ValueSize.add(count, units);
     }
 
     boolean over() {
--- a/src/main/java/elderseam/rules/lang/Bounds.java
+++ b/src/main/java/elderseam/rules/cel/CostEstimator.java
@@ -1,34 +1,34 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /** The worst-case cost of an expression, from declared sizes of its names, and of which part it is most. */
-final class Bounds {
+final class CostEstimator {
     /** Of one node with all below it. */
-    record Bound(long cost, Size size) {}
+    record Bound(long cost, ValueSize size) {}
 
     private final Scope scope;
-    private final Map<String, Size> variables = new HashMap<>();
+    private final Map<String, ValueSize> variables = new HashMap<>();
     private final long budget;
     private Map<Ast, Long> seen; // the bound of each node, where it is asked for
     private Ast culprit; // the first, deepest node that is above the budget by itself
 
-    private Bounds(Scope scope, long budget) {
+    private CostEstimator(Scope scope, long budget) {
         this.scope = scope;
         this.budget = budget;
     }
 
     /** The bound; refused where it is above the budget, at the innermost part that is. */
-    static long of(String text, Ast tree, Scope scope, long budget) throws FaultException {
-        Bounds b = new Bounds(scope, budget);
+    static long of(String text, Ast tree, Scope scope, long budget) throws ExpressionException {
+        CostEstimator b = new CostEstimator(scope, budget);
         long cost = b.of(tree).cost;
         if (cost > budget) {
-            throw new FaultException(Fault.at(
+            throw new ExpressionException(ExpressionFault.at(
                     text,
                     b.culprit.at(),
-                    "may cost " + (cost >= Size.MOST ? "without end" : Long.toString(cost)) + " units, allowed: "
+                    "may cost " + (cost >= ValueSize.MOST ? "without end" : Long.toString(cost)) + " units, allowed: "
                             + budget));
         }
         return cost;
@@ -36,7 +36,7 @@
 
     /** A line for each node, with its type and bound; below what holds it. */
     static String explained(Ast tree, Map<Ast, Type> types, Scope scope) {
-        Bounds b = new Bounds(scope, Size.MOST);
+        CostEstimator b = new CostEstimator(scope, ValueSize.MOST);
         StringBuilder all = new StringBuilder();
         b.seen = new java.util.IdentityHashMap<>();
         b.of(tree);
@@ -71,11 +71,11 @@
 
     private Bound of(Ast a) {
         Bound b = a instanceof Ast.Literal x
-                ? new Bound(1, Cost.of(x.value()))
+                ? new Bound(1, CostModel.of(x.value()))
                 : a instanceof Ast.Name x
                         ? new Bound(1, size(x.name()))
                         : a instanceof Ast.Present x
-                                ? new Bound(1 + of(x.name()).cost, Size.ONE)
+                                ? new Bound(1 + of(x.name()).cost, ValueSize.ONE)
                                 : a instanceof Ast.Select x
                                         ? select(x)
                                         : a instanceof Ast.Call x
@@ -92,58 +92,59 @@
         return b;
     }
 
-    private Size size(String name) {
-        Size s = variables.get(name);
+    private ValueSize size(String name) {
+        ValueSize s = variables.get(name);
         return s != null
                 ? s
-                : scope.get(name) == null ? Size.ONE : scope.get(name).size();
+                : scope.get(name) == null ? ValueSize.ONE : scope.get(name).size();
     }
 
     private Bound select(Ast.Select x) {
         Bound of = of(x.of());
         return new Bound(
-                Size.add(of.cost, 1 + Size.text(x.field().length()).whole()), x.has() ? Size.ONE : of.size.items());
+                ValueSize.add(of.cost, 1 + ValueSize.text(x.field().length()).whole()),
+                x.has() ? ValueSize.ONE : of.size.items());
     }
 
     private Bound list(List<Ast> items) {
         long cost = 1;
-        Size item = Size.NONE;
+        ValueSize item = ValueSize.NONE;
         for (Ast i : items) {
             Bound b = of(i);
-            cost = Size.add(cost, b.cost);
-            item = Size.larger(item, b.size);
+            cost = ValueSize.add(cost, b.cost);
+            item = ValueSize.larger(item, b.size);
         }
-        return new Bound(cost, Size.list(items.size(), item));
+        return new Bound(cost, ValueSize.list(items.size(), item));
     }
 
     private Bound map(Ast.MapOf x) {
         long cost = 1;
-        Size item = Size.NONE;
+        ValueSize item = ValueSize.NONE;
         for (int i = 0; i < x.keys().size(); i++) {
             Bound k = of(x.keys().get(i)), v = of(x.values().get(i));
-            cost = Size.add(cost, Size.add(k.size.whole(), Size.add(k.cost, v.cost)));
-            item = Size.larger(item, Size.larger(k.size, v.size));
+            cost = ValueSize.add(cost, ValueSize.add(k.size.whole(), ValueSize.add(k.cost, v.cost)));
+            item = ValueSize.larger(item, ValueSize.larger(k.size, v.size));
         }
-        return new Bound(cost, Size.list(x.keys().size(), item));
+        return new Bound(cost, ValueSize.list(x.keys().size(), item));
     }
 
     private Bound each(Ast.Each x) {
         Bound range = of(x.range());
-        Size item = range.size.items(), hidden = variables.put(x.variable(), item);
-        Bound filter = x.filter() == null ? new Bound(0, Size.ONE) : of(x.filter()), body = of(x.body());
+        ValueSize item = range.size.items(), hidden = variables.put(x.variable(), item);
+        Bound filter = x.filter() == null ? new Bound(0, ValueSize.ONE) : of(x.filter()), body = of(x.body());
         if (hidden == null) {
             variables.remove(x.variable());
         } else {
             variables.put(x.variable(), hidden);
         }
-        long round = Size.add(1, Size.add(filter.cost, body.cost));
-        long cost = Size.add(Size.add(1, range.cost), Size.mul(range.size.length(), round));
+        long round = ValueSize.add(1, ValueSize.add(filter.cost, body.cost));
+        long cost = ValueSize.add(ValueSize.add(1, range.cost), ValueSize.mul(range.size.length(), round));
         return new Bound(
                 cost,
                 switch (x.macro()) {
-                    case "map" -> Size.list(range.size.length(), body.size);
-                    case "filter" -> Size.list(range.size.length(), item);
-                    default -> Size.ONE;
+                    case "map" -> ValueSize.list(range.size.length(), body.size);
+                    case "filter" -> ValueSize.list(range.size.length(), item);
+                    default -> ValueSize.ONE;
                 });
     }
 
@@ -151,33 +152,33 @@
         Bound[] args = x.args().stream().map(this::of).toArray(Bound[]::new);
         if (x.function().equals("?:")) {
             return new Bound(
-                    Size.add(1, Size.add(args[0].cost, Math.max(args[1].cost, args[2].cost))),
-                    Size.larger(args[1].size, args[2].size));
+                    ValueSize.add(1, ValueSize.add(args[0].cost, Math.max(args[1].cost, args[2].cost))),
+                    ValueSize.larger(args[1].size, args[2].size));
         }
-        Size[] sizes = new Size[args.length];
+        ValueSize[] sizes = new ValueSize[args.length];
         long cost = 0;
         for (int i = 0; i < args.length; i++) {
             sizes[i] = args[i].size;
-            cost = Size.add(cost, args[i].cost);
+            cost = ValueSize.add(cost, args[i].cost);
         }
-        return new Bound(Size.add(cost, Cost.of(x.function(), sizes)), result(x.function(), sizes));
+        return new Bound(ValueSize.add(cost, CostModel.of(x.function(), sizes)), result(x.function(), sizes));
     }
 
-    private static Size result(String function, Size[] a) {
+    private static ValueSize result(String function, ValueSize[] a) {
         return switch (function) {
             case "+" ->
-                new Size(
-                        Size.add(a[0].length(), a[1].length()),
+                new ValueSize(
+                        ValueSize.add(a[0].length(), a[1].length()),
                         a[0].item() == null
                                 ? a[1].item()
-                                : Size.larger(a[0], a[1]).item(),
-                        Size.add(a[0].chars(), a[1].chars()),
-                        Size.add(a[0].whole(), a[1].whole()));
+                                : ValueSize.larger(a[0], a[1]).item(),
+                        ValueSize.add(a[0].chars(), a[1].chars()),
+                        ValueSize.add(a[0].whole(), a[1].whole()));
             case "[]" -> a[0].items();
-            case "string" -> Size.text(Math.max(64, a[0].chars()));
-            case "bytes" -> Size.text(Size.mul(4, a[0].chars()));
+            case "string" -> ValueSize.text(Math.max(64, a[0].chars()));
+            case "bytes" -> ValueSize.text(ValueSize.mul(4, a[0].chars()));
             case "dyn" -> a[0];
-            default -> Size.ONE;
+            default -> ValueSize.ONE;
         };
     }
 }
--- a/src/main/java/elderseam/rules/lang/Cost.java
+++ b/src/main/java/elderseam/rules/cel/CostModel.java
@@ -1,16 +1,16 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import static elderseam.rules.lang.Size.add;
-import static elderseam.rules.lang.Size.mul;
+import static elderseam.rules.cel.ValueSize.add;
+import static elderseam.rules.cel.ValueSize.mul;
 
 /**
  * What functions cost, in units of about one small step, by the sizes of what they are given. The bound at load and the count
  * while evaluating both come from here, so that the count is below the bound wherever inputs keep to what was declared.
  */
-final class Cost {
-    private Cost() {}
+final class CostModel {
+    private CostModel() {}
 
-    static long of(String function, Size[] a) {
+    static long of(String function, ValueSize[] a) {
         return switch (function) {
             case "==", "!=", "<", "<=", ">", ">=" -> add(1, add(a[0].whole(), a[1].whole()));
             case "+" -> add(1, add(a[0].whole(), a[1].whole()));
@@ -33,13 +33,15 @@
     }
 
     /** The size of a value. Of a list or map only how many there are: what looks at its items counts as it goes. */
-    static Size of(Object v) {
+    static ValueSize of(Object v) {
         return v instanceof String s
-                ? Size.text(s.length())
-                : v instanceof Bytes b
-                        ? Size.text(b.length())
+                ? ValueSize.text(s.length())
+                : v instanceof ByteSequence b
+                        ? ValueSize.text(b.length())
                         : v instanceof java.util.List<?> l
-                                ? Size.list(l.size(), Size.NONE)
-                                : v instanceof java.util.Map<?, ?> m ? Size.list(m.size(), Size.NONE) : Size.ONE;
+                                ? ValueSize.list(l.size(), ValueSize.NONE)
+                                : v instanceof java.util.Map<?, ?> m
+                                        ? ValueSize.list(m.size(), ValueSize.NONE)
+                                        : ValueSize.ONE;
     }
 }
--- a/src/main/java/elderseam/rules/lang/Deep.java
+++ b/src/main/java/elderseam/rules/cel/DeepRecursion.java
@@ -1,12 +1,12 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.function.Supplier;
 
 /** Work that calls itself for each level of a tree, on a stack of its own: those of the program's threads hold 256 KiB. */
-final class Deep {
+final class DeepRecursion {
     private static final long STACK = 16L << 20;
 
-    private Deep() {}
+    private DeepRecursion() {}
 
     static <T> T run(Supplier<T> work) {
         Object[] result = new Object[1];
--- a/src/main/java/elderseam/rules/lang/Inputs.java
+++ b/src/main/java/elderseam/rules/cel/EvaluationInputs.java
@@ -1,16 +1,16 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /**
  * What a compiled expression is evaluated against: the values of the names of its {@link Scope}, by their numbers, fetched only
  * where the expression comes to them. One thread owns it and uses it again for each evaluation, so that none allocates. An error
  * is left in {@link #error()}, and the value given then means nothing.
  */
-public abstract class Inputs {
-    Err error;
+public abstract class EvaluationInputs {
+    EvaluationError error;
     final Object[] variables = new Object[Parser.DEEPEST + 1]; // of macros, by how deep they stand
     private long most, spent;
 
-    /** A value of any type; null where there is none; an {@link Err} where it can't be had. */
+    /** A value of any type; null where there is none; an {@link EvaluationError} where it can't be had. */
     protected abstract Object value(int name);
 
     /** A name of type int; {@link #fail} where it can't be had. */
@@ -31,31 +31,34 @@
     /** Whether a field that was declared open is there. */
     protected boolean present(int name) {
         Object v = value(name);
-        if (v instanceof Err e && e != Err.NO_NAME) {
+        if (v instanceof EvaluationError e && e != EvaluationError.NO_NAME) {
             fail(e);
             return false;
         }
-        return v != null && !(v instanceof Err);
+        return v != null && !(v instanceof EvaluationError);
     }
 
     @SuppressWarnings("unchecked")
     final <T> T unboxed(Object v, T absent) {
-        if (v == null || v instanceof Err || v.getClass() != absent.getClass()) {
-            fail(v == null ? Err.NO_NAME : v instanceof Err e ? e : Err.NO_OVERLOAD);
+        if (v == null || v instanceof EvaluationError || v.getClass() != absent.getClass()) {
+            fail(
+                    v == null
+                            ? EvaluationError.NO_NAME
+                            : v instanceof EvaluationError e ? e : EvaluationError.NO_OVERLOAD);
             return absent;
         }
         return (T) v;
     }
 
     /** The evaluation ends in this error, unless it is absorbed. */
-    protected final void fail(Err e) {
+    protected final void fail(EvaluationError e) {
         if (error == null) {
             error = e;
         }
     }
 
     /** The error of the last evaluation, or null. */
-    public final Err error() {
+    public final EvaluationError error() {
         return error;
     }
 
@@ -76,7 +79,7 @@
         if (spent <= most) {
             return true;
         }
-        fail(Err.COST);
+        fail(EvaluationError.COST);
         return false;
     }
 
@@ -85,11 +88,11 @@
     }
 
     /** What the library of functions counts on, as far as there is room. */
-    final Counter counter() {
-        return new Counter(most - spent);
+    final CostCounter counter() {
+        return new CostCounter(most - spent);
     }
 
-    final void spent(Counter counter) {
+    final void spent(CostCounter counter) {
         spend(counter.count());
     }
 }
--- a/src/main/java/elderseam/rules/lang/Evaluator.java
+++ b/src/main/java/elderseam/rules/cel/Evaluator.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
 import java.util.ArrayList;
@@ -15,10 +15,10 @@
 final class Evaluator {
     private final Function<String, Object> names;
     private final Map<Ast, Pattern> patterns;
-    private final Counter counter;
+    private final CostCounter counter;
     private final Map<String, Object> variables = new HashMap<>();
 
-    Evaluator(Function<String, Object> names, Map<Ast, Pattern> patterns, Counter counter) {
+    Evaluator(Function<String, Object> names, Map<Ast, Pattern> patterns, CostCounter counter) {
         this.names = names;
         this.patterns = patterns;
         this.counter = counter;
@@ -26,10 +26,10 @@
 
     Object value(Ast a) {
         if (counter.over()) {
-            return Err.COST;
+            return EvaluationError.COST;
         }
         Object v = a instanceof Ast.Call x ? call(x) : a instanceof Ast.Each x ? each(x) : plain(a);
-        return counter.over() ? Err.COST : v;
+        return counter.over() ? EvaluationError.COST : v;
     }
 
     private Object plain(Ast a) {
@@ -39,20 +39,20 @@
         }
         if (a instanceof Ast.Name x) {
             Object v = variables.containsKey(x.name()) ? variables.get(x.name()) : names.apply(x.name());
-            return v == null ? Err.NO_NAME : v;
+            return v == null ? EvaluationError.NO_NAME : v;
         }
         if (a instanceof Ast.Present x) {
             Object v = names.apply(x.name().name());
-            return v instanceof Err ? v : (Object) (v != null);
+            return v instanceof EvaluationError ? v : (Object) (v != null);
         }
         if (a instanceof Ast.Select x) {
             Object of = value(x.of());
-            counter.count(Size.text(x.field().length()).whole());
-            if (of instanceof Err) {
+            counter.count(ValueSize.text(x.field().length()).whole());
+            if (of instanceof EvaluationError) {
                 return of;
             }
-            Object v = of instanceof Map<?, ?> m ? m.get(x.field()) : Err.NO_OVERLOAD;
-            return v == Err.NO_OVERLOAD ? v : x.has() ? v != null : v == null ? Err.NO_KEY : v;
+            Object v = of instanceof Map<?, ?> m ? m.get(x.field()) : EvaluationError.NO_OVERLOAD;
+            return v == EvaluationError.NO_OVERLOAD ? v : x.has() ? v != null : v == null ? EvaluationError.NO_KEY : v;
         }
         return a instanceof Ast.ListOf x ? list(x) : map((Ast.MapOf) a);
     }
@@ -61,7 +61,7 @@
         List<Object> all = new ArrayList<>();
         for (Ast i : x.items()) {
             Object v = value(i);
-            if (v instanceof Err) {
+            if (v instanceof EvaluationError) {
                 return v;
             }
             all.add(v);
@@ -73,15 +73,15 @@
         Map<Object, Object> all = new LinkedHashMap<>();
         for (int i = 0; i < x.keys().size(); i++) {
             Object k = value(x.keys().get(i)), v = value(x.values().get(i));
-            if (k instanceof Err || v instanceof Err) {
-                return k instanceof Err ? k : v;
+            if (k instanceof EvaluationError || v instanceof EvaluationError) {
+                return k instanceof EvaluationError ? k : v;
             }
-            counter.count(Cost.of(k).whole());
-            if (!(k instanceof Long || k instanceof Uint || k instanceof String || k instanceof Boolean)) {
-                return Err.NO_OVERLOAD;
+            counter.count(CostModel.of(k).whole());
+            if (!(k instanceof Long || k instanceof UnsignedLong || k instanceof String || k instanceof Boolean)) {
+                return EvaluationError.NO_OVERLOAD;
             }
             if (Functions.lookup(all, k) != null) {
-                return Err.DUPLICATE;
+                return EvaluationError.DUPLICATE;
             }
             all.put(k, v);
         }
@@ -96,29 +96,31 @@
             case "?:" -> {
                 counter.count(1);
                 Object c = value(x.args().get(0));
-                return c instanceof Boolean b ? value(x.args().get(b ? 1 : 2)) : c instanceof Err ? c : Err.NO_OVERLOAD;
+                return c instanceof Boolean b
+                        ? value(x.args().get(b ? 1 : 2))
+                        : c instanceof EvaluationError ? c : EvaluationError.NO_OVERLOAD;
             }
             default -> {
                 Object[] args = new Object[x.args().size()];
-                Size[] sizes = new Size[args.length];
+                ValueSize[] sizes = new ValueSize[args.length];
                 for (int i = 0; i < args.length; i++) {
                     args[i] = value(x.args().get(i));
-                    if (args[i] instanceof Err) {
+                    if (args[i] instanceof EvaluationError) {
                         return args[i];
                     }
-                    sizes[i] = Cost.of(args[i]);
+                    sizes[i] = CostModel.of(args[i]);
                 }
                 // what goes through items counts them itself
                 boolean items = x.function().equals("in")
                         || x.function().equals("==")
                         || x.function().equals("!=");
-                counter.count(items ? 1 : Cost.of(x.function(), sizes));
+                counter.count(items ? 1 : CostModel.of(x.function(), sizes));
                 return counter.over()
-                        ? Err.COST
+                        ? EvaluationError.COST
                         : x.function().equals("matches")
                                 ? args[0] instanceof String s
                                         ? (Object) patterns.get(x).matcher(s).find()
-                                        : Err.NO_OVERLOAD
+                                        : EvaluationError.NO_OVERLOAD
                                 : Functions.call(x.function(), args, counter);
             }
         }
@@ -137,19 +139,19 @@
             return decides;
         }
         return !(a instanceof Boolean)
-                ? a instanceof Err ? a : Err.NO_OVERLOAD
-                : b instanceof Boolean || b instanceof Err ? b : Err.NO_OVERLOAD;
+                ? a instanceof EvaluationError ? a : EvaluationError.NO_OVERLOAD
+                : b instanceof Boolean || b instanceof EvaluationError ? b : EvaluationError.NO_OVERLOAD;
     }
 
     private Object each(Ast.Each x) {
         counter.count(1);
         Object range = value(x.range());
-        if (range instanceof Err) {
+        if (range instanceof EvaluationError) {
             return range;
         }
         Iterable<?> items = range instanceof List<?> l ? l : range instanceof Map<?, ?> m ? m.keySet() : null;
         if (items == null) {
-            return Err.NO_OVERLOAD;
+            return EvaluationError.NO_OVERLOAD;
         }
         boolean had = variables.containsKey(x.variable());
         Object hidden = variables.get(x.variable());
@@ -172,21 +174,21 @@
             Object filter = x.filter() == null ? (Object) true : value(x.filter());
             Object v = filter instanceof Boolean b
                     ? b ? value(x.body()) : null
-                    : filter instanceof Err ? filter : Err.NO_OVERLOAD;
+                    : filter instanceof EvaluationError ? filter : EvaluationError.NO_OVERLOAD;
             if (counter.over()) {
-                return Err.COST;
+                return EvaluationError.COST;
             }
             if (v == null) {
                 continue;
             }
             if (!x.macro().equals("map") && !(v instanceof Boolean)) {
-                v = v instanceof Err ? v : Err.NO_OVERLOAD;
+                v = v instanceof EvaluationError ? v : EvaluationError.NO_OVERLOAD;
             }
             boolean absorbs = x.macro().equals("all") || x.macro().equals("exists");
-            if (v instanceof Err && !absorbs) {
+            if (v instanceof EvaluationError && !absorbs) {
                 return v;
             }
-            if (v instanceof Err) {
+            if (v instanceof EvaluationError) {
                 error = error == null ? v : error;
             } else if (x.macro().equals("all") && v.equals(false) || x.macro().equals("exists") && v.equals(true)) {
                 return v;
--- a/src/main/java/elderseam/rules/lang/Expression.java
+++ b/src/main/java/elderseam/rules/cel/Expression.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
 import java.util.ArrayList;
@@ -10,9 +10,9 @@
 /** An expression that was read, typed and bounded; to be evaluated any number of times. */
 public final class Expression {
     /** An expression, or every fault that it has. */
-    public record Compiled(Expression expression, List<Fault> faults) {}
+    public record Compiled(Expression expression, List<ExpressionFault> faults) {}
 
-    /** A value, or an {@link Err}, and what it cost. */
+    /** A value, or an {@link EvaluationError}, and what it cost. */
     public record Outcome(Object value, long cost) {}
 
     private final Ast tree;
@@ -44,16 +44,17 @@
 
     /** Reads one; {@code asked}: what it is to give; {@code budget}: units that it may cost at the most. */
     public static Compiled compile(String text, Scope scope, Type asked, long budget) {
-        return Deep.run(() -> compiled(text, scope, asked, budget));
+        return DeepRecursion.run(() -> compiled(text, scope, asked, budget));
     }
 
     private static Compiled compiled(String text, Scope scope, Type asked, long budget) {
         try {
-            Ast tree = Qualify.names(Parser.parse(text), scope);
+            Ast tree = NameResolver.names(Parser.parse(text), scope);
             Map<Ast, Type> types = Checker.check(text, tree, scope, asked);
             return new Compiled(
-                    new Expression(text, tree, types, scope, Bounds.of(text, tree, scope, budget), budget), List.of());
-        } catch (FaultException e) {
+                    new Expression(text, tree, types, scope, CostEstimator.of(text, tree, scope, budget), budget),
+                    List.of());
+        } catch (ExpressionException e) {
             return new Compiled(null, e.faults);
         }
     }
@@ -70,7 +71,7 @@
 
     /** The compiled form; made anew at each call. */
     public Program program() {
-        return Deep.run(() -> Planner.plan(tree, types, scope, patterns, budget));
+        return DeepRecursion.run(() -> Planner.plan(tree, types, scope, patterns, budget));
     }
 
     public String text() {
@@ -112,12 +113,12 @@
 
     /** The checked tree, a line each node: what it is, its type, and the most that it may cost with all below it. */
     public String explained() {
-        return Deep.run(() -> Bounds.explained(tree, types, scope));
+        return DeepRecursion.run(() -> CostEstimator.explained(tree, types, scope));
     }
 
     /** Evaluates it by the reference; {@code names}: the value of a name, or null. Above its budget it ends in an error. */
     public Outcome evaluate(Function<String, Object> names) {
-        Counter counter = new Counter(budget);
+        CostCounter counter = new CostCounter(budget);
         Object v = new Evaluator(names, patterns, counter).value(tree);
         return new Outcome(v, counter.count());
     }
--- a/src/main/java/elderseam/rules/lang/FaultException.java
+++ b/src/main/java/elderseam/rules/cel/ExpressionException.java
@@ -1,18 +1,18 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.List;
 
 /** An expression that can't be used; it ends at {@link Expression#compile}. */
-final class FaultException extends Exception {
+final class ExpressionException extends Exception {
     private static final long serialVersionUID = 1;
-    final transient List<Fault> faults;
+    final transient List<ExpressionFault> faults;
 
-    FaultException(List<Fault> faults) {
+    ExpressionException(List<ExpressionFault> faults) {
         super(faults.get(0).shown(), null, false, false);
         this.faults = faults;
     }
 
-    FaultException(Fault fault) {
+    ExpressionException(ExpressionFault fault) {
         this(List.of(fault));
     }
 }
--- a/src/main/java/elderseam/rules/lang/Functions.java
+++ b/src/main/java/elderseam/rules/cel/Functions.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
 import java.math.BigDecimal;
@@ -48,7 +48,7 @@
         return Pattern.compile(text);
     }
 
-    static Object call(String f, Object[] a, Counter counter) {
+    static Object call(String f, Object[] a, CostCounter counter) {
         return switch (f) {
             case "==" -> equal(a[0], a[1], counter);
             case "!=" -> !equal(a[0], a[1], counter);
@@ -56,9 +56,9 @@
             case "+", "-", "*", "/", "%" -> Arithmetic.of(f, a[0], a[1]);
             case "-_" ->
                 a[0] instanceof Long n
-                        ? n == Long.MIN_VALUE ? Err.OVERFLOW : (Object) (-n)
-                        : a[0] instanceof Double d ? (Object) (-d) : Err.NO_OVERLOAD;
-            case "!_" -> a[0] instanceof Boolean b ? (Object) !b : Err.NO_OVERLOAD;
+                        ? n == Long.MIN_VALUE ? EvaluationError.OVERFLOW : (Object) (-n)
+                        : a[0] instanceof Double d ? (Object) (-d) : EvaluationError.NO_OVERLOAD;
+            case "!_" -> a[0] instanceof Boolean b ? (Object) !b : EvaluationError.NO_OVERLOAD;
             case "in" -> in(a[0], a[1], counter);
             case "[]" -> index(a[0], a[1]);
             case "size" -> size(a[0]);
@@ -69,7 +69,7 @@
     }
 
     static boolean isNumber(Object v) {
-        return v instanceof Long || v instanceof Uint || v instanceof Double;
+        return v instanceof Long || v instanceof UnsignedLong || v instanceof Double;
     }
 
     /** Numbers of all kinds by their value; -2 where one is not a number. */
@@ -96,7 +96,7 @@
         return n instanceof Double d ? new BigDecimal(d) : new BigDecimal(n.toString());
     }
 
-    static boolean equal(Object x, Object y, Counter counter) {
+    static boolean equal(Object x, Object y, CostCounter counter) {
         counter.count(1);
         if (counter.over()) {
             return false;
@@ -122,7 +122,7 @@
             }
             return same;
         }
-        counter.count(x instanceof String s ? s.length() / 16 : x instanceof Bytes b ? b.length() / 16 : 0);
+        counter.count(x instanceof String s ? s.length() / 16 : x instanceof ByteSequence b ? b.length() / 16 : 0);
         return x.equals(y);
     }
 
@@ -137,14 +137,14 @@
             c = codePoints(a, b);
         } else if (x instanceof Boolean a && y instanceof Boolean b) {
             c = a.compareTo(b);
-        } else if (x instanceof Bytes a && y instanceof Bytes b) {
+        } else if (x instanceof ByteSequence a && y instanceof ByteSequence b) {
             c = a.compareTo(b);
         } else if (x instanceof Instant a && y instanceof Instant b) {
             c = a.compareTo(b);
         } else if (x instanceof Duration a && y instanceof Duration b) {
             c = a.compareTo(b);
         } else {
-            return Err.NO_OVERLOAD;
+            return EvaluationError.NO_OVERLOAD;
         }
         return f.charAt(0) == '<' ? c < 0 || c == 0 && f.length() == 2 : c > 0 || c == 0 && f.length() == 2;
     }
@@ -162,12 +162,12 @@
         return x == y ? a.charAt(i) - b.charAt(i) : x ? 1 : -1;
     }
 
-    private static Object in(Object x, Object of, Counter counter) {
+    private static Object in(Object x, Object of, CostCounter counter) {
         if (of instanceof Map<?, ?> m) {
             return lookup(m, x) != null;
         }
         if (!(of instanceof List<?> l)) {
-            return Err.NO_OVERLOAD;
+            return EvaluationError.NO_OVERLOAD;
         }
         for (Object item : l) {
             if (equal(x, item, counter)) {
@@ -193,40 +193,40 @@
         return v != null
                 ? v
                 : n.signum() >= 0 && n.toBigInteger().bitLength() <= 64
-                        ? m.get(new Uint(n.toBigInteger().longValue()))
+                        ? m.get(new UnsignedLong(n.toBigInteger().longValue()))
                         : null;
     }
 
     private static Object index(Object of, Object key) {
         if (of instanceof Map<?, ?> m) {
             Object v = lookup(m, key);
-            return v == null ? Err.NO_KEY : v;
+            return v == null ? EvaluationError.NO_KEY : v;
         }
         if (of instanceof List<?> l && isNumber(key)) {
             boolean in =
                     compare(key, 0L) >= 0 && compare(key, (long) l.size()) < 0 && compare(key, exactLong(key)) == 0;
-            return in ? l.get((int) exactLong(key)) : Err.BOUNDS;
+            return in ? l.get((int) exactLong(key)) : EvaluationError.BOUNDS;
         }
-        return Err.NO_OVERLOAD;
+        return EvaluationError.NO_OVERLOAD;
     }
 
     private static long exactLong(Object n) {
-        return n instanceof Long l ? l : n instanceof Uint u ? u.bits() : (long) (double) (Double) n;
+        return n instanceof Long l ? l : n instanceof UnsignedLong u ? u.bits() : (long) (double) (Double) n;
     }
 
     private static Object size(Object v) {
         return v instanceof String s
                 ? (Object) (long) s.codePointCount(0, s.length())
-                : v instanceof Bytes b
+                : v instanceof ByteSequence b
                         ? (Object) (long) b.length()
                         : v instanceof List<?> l
                                 ? (Object) (long) l.size()
-                                : v instanceof Map<?, ?> m ? (Object) (long) m.size() : Err.NO_OVERLOAD;
+                                : v instanceof Map<?, ?> m ? (Object) (long) m.size() : EvaluationError.NO_OVERLOAD;
     }
 
     private static Object text(String f, Object x, Object y) {
         if (!(x instanceof String a) || !(y instanceof String b)) {
-            return Err.NO_OVERLOAD;
+            return EvaluationError.NO_OVERLOAD;
         }
         return f.equals("startsWith") ? a.startsWith(b) : f.equals("endsWith") ? a.endsWith(b) : a.contains(b);
     }
@@ -243,64 +243,71 @@
                             ? v
                             : v instanceof Long n
                                     ? (Object) (double) n
-                                    : v instanceof Uint u
+                                    : v instanceof UnsignedLong u
                                             ? (Object) new BigDecimal(u.toString()).doubleValue()
-                                            : v instanceof String s ? (Object) Double.parseDouble(s) : Err.NO_OVERLOAD;
+                                            : v instanceof String s
+                                                    ? (Object) Double.parseDouble(s)
+                                                    : EvaluationError.NO_OVERLOAD;
                 case "string" -> toText(v);
                 case "bytes" ->
-                    v instanceof Bytes
+                    v instanceof ByteSequence
                             ? v
-                            : v instanceof String s ? new Bytes(s.getBytes(StandardCharsets.UTF_8)) : Err.NO_OVERLOAD;
+                            : v instanceof String s
+                                    ? new ByteSequence(s.getBytes(StandardCharsets.UTF_8))
+                                    : EvaluationError.NO_OVERLOAD;
                 case "bool" -> toBool(v);
-                case "timestamp" -> v instanceof Instant ? v : v instanceof String s ? timestamp(s) : Err.NO_OVERLOAD;
+                case "timestamp" ->
+                    v instanceof Instant ? v : v instanceof String s ? timestamp(s) : EvaluationError.NO_OVERLOAD;
                 case "duration" ->
                     v instanceof Duration
                             ? v
                             : v instanceof String s
-                                    ? duration(s) == null ? new Err("no duration") : duration(s)
-                                    : Err.NO_OVERLOAD;
-                default -> Err.NO_OVERLOAD;
+                                    ? duration(s) == null ? new EvaluationError("no duration") : duration(s)
+                                    : EvaluationError.NO_OVERLOAD;
+                default -> EvaluationError.NO_OVERLOAD;
             };
         } catch (NumberFormatException | DateTimeException e) {
-            return new Err("can't be converted to " + f);
+            return new EvaluationError("can't be converted to " + f);
         }
     }
 
     private static Object toInt(Object v) {
         if (v instanceof Double d) {
-            return d > -0x1p63 && d < 0x1p63 ? (Object) (long) (double) d : Err.RANGE;
+            return d > -0x1p63 && d < 0x1p63 ? (Object) (long) (double) d : EvaluationError.RANGE;
         }
         return v instanceof Long
                 ? v
-                : v instanceof Uint u
-                        ? u.bits() < 0 ? Err.RANGE : (Object) u.bits()
+                : v instanceof UnsignedLong u
+                        ? u.bits() < 0 ? EvaluationError.RANGE : (Object) u.bits()
                         : v instanceof String s
                                 ? (Object) Long.parseLong(s)
-                                : v instanceof Instant t ? (Object) t.getEpochSecond() : Err.NO_OVERLOAD;
+                                : v instanceof Instant t ? (Object) t.getEpochSecond() : EvaluationError.NO_OVERLOAD;
     }
 
     private static Object toUint(Object v) {
         if (v instanceof Double d) {
             return d > -1 && d < 0x1p64
-                    ? (Object) new Uint(new BigDecimal(d).toBigInteger().longValue())
-                    : Err.RANGE;
+                    ? (Object) new UnsignedLong(new BigDecimal(d).toBigInteger().longValue())
+                    : EvaluationError.RANGE;
         }
-        return v instanceof Uint
+        return v instanceof UnsignedLong
                 ? v
                 : v instanceof Long n
-                        ? n < 0 ? Err.RANGE : new Uint(n)
-                        : v instanceof String s ? new Uint(Long.parseUnsignedLong(s)) : Err.NO_OVERLOAD;
+                        ? n < 0 ? EvaluationError.RANGE : new UnsignedLong(n)
+                        : v instanceof String s
+                                ? new UnsignedLong(Long.parseUnsignedLong(s))
+                                : EvaluationError.NO_OVERLOAD;
     }
 
     private static Object toText(Object v) {
-        if (v instanceof Bytes b) {
+        if (v instanceof ByteSequence b) {
             try {
                 return StandardCharsets.UTF_8
                         .newDecoder()
                         .decode(ByteBuffer.wrap(b.octets))
                         .toString();
             } catch (CharacterCodingException e) {
-                return new Err("octets that are no UTF-8");
+                return new EvaluationError("octets that are no UTF-8");
             }
         }
         if (v instanceof Double d) {
@@ -315,22 +322,22 @@
         return v instanceof String
                         || v instanceof Boolean
                         || v instanceof Long
-                        || v instanceof Uint
+                        || v instanceof UnsignedLong
                         || v instanceof Instant
                 ? v.toString()
-                : Err.NO_OVERLOAD;
+                : EvaluationError.NO_OVERLOAD;
     }
 
     private static Object toBool(Object v) {
         return v instanceof Boolean
                 ? v
                 : !(v instanceof String s)
-                        ? Err.NO_OVERLOAD
+                        ? EvaluationError.NO_OVERLOAD
                         : List.of("true", "True", "TRUE", "t", "1").contains(s)
                                 ? (Object) true
                                 : List.of("false", "False", "FALSE", "f", "0").contains(s)
                                         ? (Object) false
-                                        : new Err("can't be converted to bool");
+                                        : new EvaluationError("can't be converted to bool");
     }
 
     /** RFC 3339; of the years 1 to 9999. */
@@ -340,11 +347,11 @@
     }
 
     static Object inRange(Instant t) {
-        return t.isBefore(FIRST) || t.isAfter(LAST) ? Err.RANGE : t;
+        return t.isBefore(FIRST) || t.isAfter(LAST) ? EvaluationError.RANGE : t;
     }
 
     static Object inRange(Duration d) {
-        return Math.abs(d.getSeconds()) > MOST_SECONDS ? Err.RANGE : d;
+        return Math.abs(d.getSeconds()) > MOST_SECONDS ? EvaluationError.RANGE : d;
     }
 
     /** Such as 1h30m or -0.5s; null for none. */
@@ -378,11 +385,11 @@
                 case "getMinutes" -> d.toMinutes();
                 case "getSeconds" -> d.getSeconds();
                 case "getMilliseconds" -> (long) d.toMillisPart();
-                default -> Err.NO_OVERLOAD;
+                default -> EvaluationError.NO_OVERLOAD;
             };
         }
         if (!(a[0] instanceof Instant t) || a.length == 2 && !(a[1] instanceof String)) {
-            return Err.NO_OVERLOAD;
+            return EvaluationError.NO_OVERLOAD;
         }
         try {
             ZonedDateTime z = t.atZone(ZoneId.of(a.length == 2 ? (String) a[1] : "UTC"));
@@ -397,10 +404,10 @@
                 case "getMinutes" -> (long) z.getMinute();
                 case "getSeconds" -> (long) z.getSecond();
                 case "getMilliseconds" -> z.getNano() / 1_000_000L;
-                default -> Err.NO_OVERLOAD;
+                default -> EvaluationError.NO_OVERLOAD;
             };
         } catch (DateTimeException e) {
-            return new Err("no such time zone");
+            return new EvaluationError("no such time zone");
         }
     }
 
--- a/src/main/java/elderseam/rules/lang/Lexer.java
+++ b/src/main/java/elderseam/rules/cel/Lexer.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -19,7 +19,7 @@
         this.text = text;
     }
 
-    static List<Token> tokens(String text) throws FaultException {
+    static List<Token> tokens(String text) throws ExpressionException {
         Lexer l = new Lexer(text);
         List<Token> all = new ArrayList<>();
         do {
@@ -28,15 +28,15 @@
         return all;
     }
 
-    private FaultException fault(int offset, String words) {
-        return new FaultException(Fault.at(text, offset, words));
+    private ExpressionException fault(int offset, String words) {
+        return new ExpressionException(ExpressionFault.at(text, offset, words));
     }
 
     private char peek(int ahead) {
         return at + ahead < text.length() ? text.charAt(at + ahead) : '\0';
     }
 
-    private Token next() throws FaultException {
+    private Token next() throws ExpressionException {
         while (at < text.length() && (" \t\n\r\f".indexOf(peek(0)) >= 0 || peek(0) == '/' && peek(1) == '/')) {
             int end = text.indexOf('\n', at);
             at = peek(0) != '/' ? at + 1 : end < 0 ? text.length() : end;
@@ -76,7 +76,7 @@
         return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_';
     }
 
-    private Object number() throws FaultException {
+    private Object number() throws ExpressionException {
         int from = at;
         boolean hex = peek(0) == '0' && (peek(1) == 'x' || peek(1) == 'X');
         at += hex ? 2 : 0;
@@ -108,7 +108,7 @@
             }
             if (peek(0) == 'u' || peek(0) == 'U') {
                 at++;
-                return new Uint(Long.parseUnsignedLong(digits, hex ? 16 : 10));
+                return new UnsignedLong(Long.parseUnsignedLong(digits, hex ? 16 : 10));
             }
             // the least int is written as a negation: its digits alone are one too many
             return hex || !digits.equals("9223372036854775808")
@@ -132,7 +132,7 @@
         return !twice && (peek(n) == '"' || peek(n) == '\'') ? n : -1;
     }
 
-    private Object string(int prefix) throws FaultException {
+    private Object string(int prefix) throws ExpressionException {
         int from = at;
         String letters = text.substring(at, at + prefix).toLowerCase(Locale.ROOT);
         at += prefix;
@@ -157,10 +157,10 @@
             }
         }
         at += quote.length();
-        return bytes ? new Bytes(b.toByteArray()) : s.toString();
+        return bytes ? new ByteSequence(b.toByteArray()) : s.toString();
     }
 
-    private void escape(boolean bytes, StringBuilder s, ByteArrayOutputStream b) throws FaultException {
+    private void escape(boolean bytes, StringBuilder s, ByteArrayOutputStream b) throws ExpressionException {
         int from = at++;
         char c = peek(0);
         at++;
@@ -191,7 +191,7 @@
         }
     }
 
-    private int digits(int count, int radix, int from) throws FaultException {
+    private int digits(int count, int radix, int from) throws ExpressionException {
         int value = 0;
         for (int i = 0; i < count; i++, at++) {
             int d = peek(0) < 128 ? Character.digit(peek(0), radix) : -1;
--- a/src/main/java/elderseam/rules/lang/Qualify.java
+++ b/src/main/java/elderseam/rules/cel/NameResolver.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -10,16 +10,16 @@
  * CEL specification, "Name Resolution"), and {@code body.lease.month} one field where {@code body} is open. A macro's variable
  * hides names that begin with it.
  */
-final class Qualify {
+final class NameResolver {
     private final Scope scope;
     private final Set<String> variables = new HashSet<>();
 
-    private Qualify(Scope scope) {
+    private NameResolver(Scope scope) {
         this.scope = scope;
     }
 
     static Ast names(Ast tree, Scope scope) {
-        return new Qualify(scope).of(tree);
+        return new NameResolver(scope).of(tree);
     }
 
     private List<Ast> all(List<Ast> nodes) {
--- a/src/main/java/elderseam/rules/lang/Null.java
+++ b/src/main/java/elderseam/rules/cel/NullValue.java
@@ -1,7 +1,7 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /** The null of the language, which is a value like any other. */
-public enum Null {
+public enum NullValue {
     NULL;
 
     @Override
--- a/src/main/java/elderseam/rules/lang/Parser.java
+++ b/src/main/java/elderseam/rules/cel/Parser.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -41,7 +41,7 @@
             Set.of("==", "!=", "<", "<=", ">", ">=", "in"),
             Set.of("+", "-"),
             Set.of("*", "/", "%"));
-    private static final Map<String, Object> WORDS = Map.of("true", true, "false", false, "null", Null.NULL);
+    private static final Map<String, Object> WORDS = Map.of("true", true, "false", false, "null", NullValue.NULL);
 
     private final String text;
     private final List<Token> tokens;
@@ -52,10 +52,10 @@
         this.tokens = tokens;
     }
 
-    static Ast parse(String text) throws FaultException {
+    static Ast parse(String text) throws ExpressionException {
         if (text.length() > MOST_TEXT) {
-            throw new FaultException(
-                    new Fault(1, 1, "", "an expression of " + text.length() + " characters, allowed: " + MOST_TEXT));
+            throw new ExpressionException(new ExpressionFault(
+                    1, 1, "", "an expression of " + text.length() + " characters, allowed: " + MOST_TEXT));
         }
         Parser p = new Parser(text, Lexer.tokens(text));
         Ast tree = p.expression();
@@ -67,14 +67,15 @@
     }
 
     /** Long chains inside nested ones add up; what walks the tree later calls itself for each level. */
-    private void shallow(Ast tree) throws FaultException {
+    private void shallow(Ast tree) throws ExpressionException {
         ArrayDeque<Ast> nodes = new ArrayDeque<>(List.of(tree));
         ArrayDeque<Integer> levels = new ArrayDeque<>(List.of(1));
         while (!nodes.isEmpty()) {
             Ast a = nodes.pop();
             int level = levels.pop();
             if (level > LONGEST) {
-                throw new FaultException(Fault.at(text, a.at(), "a tree more than " + LONGEST + " deep"));
+                throw new ExpressionException(
+                        ExpressionFault.at(text, a.at(), "a tree more than " + LONGEST + " deep"));
             }
             for (Ast b : Ast.below(a)) {
                 nodes.push(b);
@@ -83,8 +84,8 @@
         }
     }
 
-    private FaultException fault(Token at, String words) {
-        return new FaultException(Fault.at(text, at.at(), words));
+    private ExpressionException fault(Token at, String words) {
+        return new ExpressionException(ExpressionFault.at(text, at.at(), words));
     }
 
     private Token peek() {
@@ -101,19 +102,19 @@
         return is;
     }
 
-    private void expect(String sign) throws FaultException {
+    private void expect(String sign) throws ExpressionException {
         if (!takes(sign)) {
             throw fault(peek(), peek().words() + " where '" + sign + "' is expected");
         }
     }
 
-    private void deeper() throws FaultException {
+    private void deeper() throws ExpressionException {
         if (++depth > DEEPEST) {
             throw fault(peek(), "nested more than " + DEEPEST + " deep");
         }
     }
 
-    private Ast expression() throws FaultException {
+    private Ast expression() throws ExpressionException {
         deeper();
         Ast condition = binary(0);
         if (peek().is("?")) {
@@ -128,7 +129,7 @@
     }
 
     /** Left to right; && and || are put together evenly, so that a long chain is no deep tree. */
-    private Ast binary(int level) throws FaultException {
+    private Ast binary(int level) throws ExpressionException {
         if (level == LEVELS.size()) {
             return unary();
         }
@@ -176,7 +177,7 @@
                 sign.at());
     }
 
-    private Ast unary() throws FaultException {
+    private Ast unary() throws ExpressionException {
         Token t = peek();
         if (!t.is("!") && !t.is("-")) {
             return member();
@@ -200,11 +201,11 @@
         return new Ast.Call(t.is("!") ? "!_" : "-_", false, List.of(of), t.at());
     }
 
-    private Ast member() throws FaultException {
+    private Ast member() throws ExpressionException {
         return members(primary());
     }
 
-    private Ast members(Ast of) throws FaultException {
+    private Ast members(Ast of) throws ExpressionException {
         Ast tree = of;
         for (int n = 0; ; n++) {
             Token t = peek();
@@ -226,7 +227,7 @@
         }
     }
 
-    private Token name() throws FaultException {
+    private Token name() throws ExpressionException {
         Token t = take();
         if (t.kind() != Token.Kind.NAME || RESERVED.contains(t.value())) {
             throw fault(t, t.words() + " where a name is expected");
@@ -234,7 +235,7 @@
         return t;
     }
 
-    private Ast method(Ast receiver, Token field) throws FaultException {
+    private Ast method(Ast receiver, Token field) throws ExpressionException {
         String function = (String) field.value();
         List<Ast> args = list(")");
         if (!MACROS.contains(function)) {
@@ -253,7 +254,7 @@
     }
 
     /** Expressions apart by commas up to that sign; one comma may stand before it. */
-    private List<Ast> list(String end) throws FaultException {
+    private List<Ast> list(String end) throws ExpressionException {
         List<Ast> all = new ArrayList<>();
         while (!takes(end)) {
             all.add(expression());
@@ -265,7 +266,7 @@
         return all;
     }
 
-    private Ast primary() throws FaultException {
+    private Ast primary() throws ExpressionException {
         Token t = take();
         if (t.kind() == Token.Kind.LITERAL) {
             if (t.value() == Lexer.TOO_LARGE_BY_ONE) {
@@ -306,7 +307,7 @@
         return new Ast.Select(s.of(), s.field(), true, s.at());
     }
 
-    private Ast map(Token open) throws FaultException {
+    private Ast map(Token open) throws ExpressionException {
         List<Ast> keys = new ArrayList<>(), values = new ArrayList<>();
         while (!takes("}")) {
             keys.add(expression());
--- a/src/main/java/elderseam/rules/lang/Planner.java
+++ b/src/main/java/elderseam/rules/cel/Planner.java
@@ -1,15 +1,15 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import static elderseam.rules.lang.Type.Plain.BOOL;
-import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.INT;
-import static elderseam.rules.lang.Type.Plain.STRING;
+import static elderseam.rules.cel.Type.Plain.BOOL;
+import static elderseam.rules.cel.Type.Plain.DOUBLE;
+import static elderseam.rules.cel.Type.Plain.INT;
+import static elderseam.rules.cel.Type.Plain.STRING;
 
 import com.google.re2j.Pattern;
-import elderseam.rules.lang.Program.Any;
-import elderseam.rules.lang.Program.Real;
-import elderseam.rules.lang.Program.Truth;
-import elderseam.rules.lang.Program.Whole;
+import elderseam.rules.cel.Program.Any;
+import elderseam.rules.cel.Program.Real;
+import elderseam.rules.cel.Program.Truth;
+import elderseam.rules.cel.Program.Whole;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +73,7 @@
                 : a instanceof Ast.Each e
                                 && !e.macro().equals("map")
                                 && !e.macro().equals("filter")
-                        ? new Rounds(this, e)
+                        ? new ComprehensionEvaluator(this, e)
                         : null;
         if (t != null) {
             return t;
@@ -83,7 +83,7 @@
     }
 
     /** A step's null with an error stays that error. */
-    private static Object checked(Inputs in, Object v) {
+    private static Object checked(EvaluationInputs in, Object v) {
         return v == null && in.error != null ? in.error : v;
     }
 
@@ -109,15 +109,15 @@
                 return compared(c);
             }
             case "startsWith", "endsWith", "contains" -> {
-                return both(c, STRING) ? Texts.test(c.function(), any(args.get(0)), any(args.get(1))) : null;
+                return both(c, STRING) ? StringSteps.test(c.function(), any(args.get(0)), any(args.get(1))) : null;
             }
             case "matches" -> {
-                return is(args.get(0), STRING) ? Texts.matches(any(args.get(0)), patterns.get(c)) : null;
+                return is(args.get(0), STRING) ? StringSteps.matches(any(args.get(0)), patterns.get(c)) : null;
             }
             case "in" -> {
                 Object list = constant(args.get(1)) && is(args.get(0), STRING) ? folded(args.get(1)) : null;
                 return list instanceof List<?> l
-                        ? Texts.among(any(args.get(0)), l)
+                        ? StringSteps.among(any(args.get(0)), l)
                         : null; // one that ends in an error does so each time
             }
             default -> {
@@ -129,7 +129,7 @@
     private static Truth logical(Truth a, Truth b, boolean decides) {
         return in -> {
             boolean x = a.of(in);
-            Err e = in.error;
+            EvaluationError e = in.error;
             if (e == null && x == decides) {
                 return decides;
             }
@@ -169,17 +169,17 @@
         }
         boolean equality = c.function().equals("==") || c.function().equals("!=");
         return equality && (is(x, STRING) || is(y, STRING))
-                ? Texts.equal(any(x), any(y), c.function().equals("=="))
+                ? StringSteps.equal(any(x), any(y), c.function().equals("=="))
                 : null;
     }
 
-    private static int wholes(Inputs in, Whole a, Whole b) {
+    private static int wholes(EvaluationInputs in, Whole a, Whole b) {
         long x = a.of(in);
         return in.error != null ? 0 : Long.compare(x, b.of(in));
     }
 
     /** Whether the order lies from {@code least} to {@code most}; with what is not a number it never does. */
-    private static boolean reals(Inputs in, Real a, Real b, int least, int most) {
+    private static boolean reals(EvaluationInputs in, Real a, Real b, int least, int most) {
         double x = a.of(in);
         double y = second(in, b);
         int order = x < y ? -1 : x > y ? 1 : x == y ? 0 : 2;
@@ -213,7 +213,7 @@
         if (a instanceof Ast.Call c
                 && c.function().equals("size")
                 && is(c.args().get(0), STRING)) {
-            return Texts.size(any(c.args().get(0)));
+            return StringSteps.size(any(c.args().get(0)));
         }
         Any of = anyOf(a);
         return in -> in.unboxed(checked(in, of.of(in)), 0L);
@@ -229,25 +229,27 @@
             return switch (sign) {
                 case '+' -> {
                     long r = x + y;
-                    yield ((x ^ r) & (y ^ r)) < 0 ? failed(in, Err.OVERFLOW) : r;
+                    yield ((x ^ r) & (y ^ r)) < 0 ? failed(in, EvaluationError.OVERFLOW) : r;
                 }
                 case '-' -> {
                     long r = x - y;
-                    yield ((x ^ y) & (x ^ r)) < 0 ? failed(in, Err.OVERFLOW) : r;
+                    yield ((x ^ y) & (x ^ r)) < 0 ? failed(in, EvaluationError.OVERFLOW) : r;
                 }
                 case '*' -> {
                     long high = Math.multiplyHigh(x, y), low = x * y;
-                    yield high == low >> 63 ? low : failed(in, Err.OVERFLOW);
+                    yield high == low >> 63 ? low : failed(in, EvaluationError.OVERFLOW);
                 }
                 default ->
                     y == 0
-                            ? failed(in, Err.BY_ZERO)
-                            : y == -1 && x == Long.MIN_VALUE ? failed(in, Err.OVERFLOW) : sign == '/' ? x / y : x % y;
+                            ? failed(in, EvaluationError.BY_ZERO)
+                            : y == -1 && x == Long.MIN_VALUE
+                                    ? failed(in, EvaluationError.OVERFLOW)
+                                    : sign == '/' ? x / y : x % y;
             };
         };
     }
 
-    private static long failed(Inputs in, Err e) {
+    private static long failed(EvaluationInputs in, EvaluationError e) {
         in.fail(e);
         return 0;
     }
@@ -280,7 +282,7 @@
     }
 
     /** No step runs on top of an error: a later {@code ||} would take it for its own. */
-    private static double second(Inputs in, Real y) {
+    private static double second(EvaluationInputs in, Real y) {
         return in.error != null ? 0 : y.of(in);
     }
 
@@ -313,13 +315,13 @@
     }
 
     private Object folded(Ast a) {
-        return new Evaluator(n -> null, patterns, new Counter(Size.MOST)).value(a);
+        return new Evaluator(n -> null, patterns, new CostCounter(ValueSize.MOST)).value(a);
     }
 
     private Any anyOf(Ast a) {
         if (constant(a)) {
             Object v = folded(a);
-            return v instanceof Err e ? in -> failedValue(in, e) : in -> v;
+            return v instanceof EvaluationError e ? in -> failedValue(in, e) : in -> v;
         }
         Integer variable = variable(a);
         if (variable != null) {
@@ -330,20 +332,22 @@
             int number = scope.number(n.name());
             return in -> {
                 Object v = in.value(number);
-                return v == null ? failedValue(in, Err.NO_NAME) : v instanceof Err e ? failedValue(in, e) : v;
+                return v == null
+                        ? failedValue(in, EvaluationError.NO_NAME)
+                        : v instanceof EvaluationError e ? failedValue(in, e) : v;
             };
         }
         if (a instanceof Ast.Select x) {
-            return Structures.select(any(x.of()), x.field(), x.has());
+            return CollectionSteps.select(any(x.of()), x.field(), x.has());
         }
         if (a instanceof Ast.ListOf x) {
-            return Structures.list(anys(x.items()));
+            return CollectionSteps.list(anys(x.items()));
         }
         if (a instanceof Ast.MapOf x) {
-            return Structures.map(anys(x.keys()), anys(x.values()));
+            return CollectionSteps.map(anys(x.keys()), anys(x.values()));
         }
         if (a instanceof Ast.Each x) {
-            return new Rounds(this, x)::collect;
+            return new ComprehensionEvaluator(this, x)::collect;
         }
         return a instanceof Ast.Call c
                 ? call(c)
@@ -354,7 +358,7 @@
         return nodes.stream().map(this::any).toArray(Any[]::new);
     }
 
-    private static Object failedValue(Inputs in, Err e) {
+    private static Object failedValue(EvaluationInputs in, EvaluationError e) {
         in.fail(e);
         return null;
     }
@@ -369,10 +373,10 @@
             };
         }
         if (c.function().equals("[]") && c.args().get(1) instanceof Ast.Literal l && l.value() instanceof String key) {
-            return Structures.select(any(c.args().get(0)), key, false); // the same, and its errors too
+            return CollectionSteps.select(any(c.args().get(0)), key, false); // the same, and its errors too
         }
         if (c.function().equals("+") && both(c, STRING)) {
-            return Texts.joined(any(c.args().get(0)), any(c.args().get(1)));
+            return StringSteps.joined(any(c.args().get(0)), any(c.args().get(1)));
         }
         if (c.function().equals("&&") || c.function().equals("||")) {
             Truth t = truth(c);
@@ -381,7 +385,7 @@
                 return in.error != null ? null : (Object) v;
             };
         }
-        return Structures.call(c.function(), anys(c.args()), patterns.get(c));
+        return CollectionSteps.call(c.function(), anys(c.args()), patterns.get(c));
     }
 
     // ---------------------------------------------------------------- macros
--- a/src/main/java/elderseam/rules/lang/Program.java
+++ b/src/main/java/elderseam/rules/cel/Program.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /**
  * An expression compiled: a closed tree of small steps, each made for the types that it meets, so that bools, ints and doubles go
@@ -7,20 +7,20 @@
  */
 public final class Program {
     interface Truth {
-        boolean of(Inputs in);
+        boolean of(EvaluationInputs in);
     }
 
     interface Whole {
-        long of(Inputs in);
+        long of(EvaluationInputs in);
     }
 
     interface Real {
-        double of(Inputs in);
+        double of(EvaluationInputs in);
     }
 
     /** Any value; where it ends in an error that is left in the inputs, and null given. */
     interface Any {
-        Object of(Inputs in);
+        Object of(EvaluationInputs in);
     }
 
     private final Any any;
@@ -38,36 +38,36 @@
     }
 
     /** Of one that gives a bool; false with an error. */
-    public boolean truth(Inputs in) {
+    public boolean truth(EvaluationInputs in) {
         in.begin(budget);
         boolean v = truth.of(in);
         return !failed(in) && v;
     }
 
     /** Of one that gives an int; 0 with an error. */
-    public long whole(Inputs in) {
+    public long whole(EvaluationInputs in) {
         in.begin(budget);
         long v = whole.of(in);
         return failed(in) ? 0 : v;
     }
 
     /** Of one that gives a double; 0 with an error. */
-    public double real(Inputs in) {
+    public double real(EvaluationInputs in) {
         in.begin(budget);
         double v = real.of(in);
         return failed(in) ? 0 : v;
     }
 
-    /** Of any; the {@link Err} with an error. */
-    public Object value(Inputs in) {
+    /** Of any; the {@link EvaluationError} with an error. */
+    public Object value(EvaluationInputs in) {
         in.begin(budget);
         Object v = any.of(in);
         return failed(in) ? in.error : v;
     }
 
-    private static boolean failed(Inputs in) {
+    private static boolean failed(EvaluationInputs in) {
         if (in.over()) {
-            in.error = Err.COST; // which nothing absorbs
+            in.error = EvaluationError.COST; // which nothing absorbs
         }
         return in.error != null;
     }
--- a/src/main/java/elderseam/rules/lang/Scope.java
+++ b/src/main/java/elderseam/rules/cel/Scope.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -6,23 +6,23 @@
 
 /**
  * The names that an expression may use: their types, how large they may be, and their numbers, from 0 in the order in which they
- * were declared, by which {@link Inputs} is asked. An open name has fields that nobody declared: each that an expression picks is
+ * were declared, by which {@link EvaluationInputs} is asked. An open name has fields that nobody declared: each that an expression picks is
  * a name of its own, of type dyn. Not changed any more once inputs are made for it.
  */
 public final class Scope {
-    record Declared(Type type, Size size, int number) {}
+    record Declared(Type type, ValueSize size, int number) {}
 
     private final Map<String, Declared> names = new LinkedHashMap<>();
-    private final Map<String, Size> open = new LinkedHashMap<>();
+    private final Map<String, ValueSize> open = new LinkedHashMap<>();
     private final Map<Integer, List<String>> fields = new LinkedHashMap<>();
 
-    public Scope name(String name, Type type, Size most) {
+    public Scope name(String name, Type type, ValueSize most) {
         names.put(name, new Declared(type, most, names.size()));
         return this;
     }
 
     /** Any field of this name may be picked; each is no larger than that. */
-    public Scope open(String name, Size most) {
+    public Scope open(String name, ValueSize most) {
         open.put(name, most);
         return this;
     }
--- a/src/main/java/elderseam/rules/lang/Signatures.java
+++ b/src/main/java/elderseam/rules/cel/Signatures.java
@@ -1,14 +1,14 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import static elderseam.rules.lang.Type.Plain.BOOL;
-import static elderseam.rules.lang.Type.Plain.BYTES;
-import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.DURATION;
-import static elderseam.rules.lang.Type.Plain.DYN;
-import static elderseam.rules.lang.Type.Plain.INT;
-import static elderseam.rules.lang.Type.Plain.STRING;
-import static elderseam.rules.lang.Type.Plain.TIMESTAMP;
-import static elderseam.rules.lang.Type.Plain.UINT;
+import static elderseam.rules.cel.Type.Plain.BOOL;
+import static elderseam.rules.cel.Type.Plain.BYTES;
+import static elderseam.rules.cel.Type.Plain.DOUBLE;
+import static elderseam.rules.cel.Type.Plain.DURATION;
+import static elderseam.rules.cel.Type.Plain.DYN;
+import static elderseam.rules.cel.Type.Plain.INT;
+import static elderseam.rules.cel.Type.Plain.STRING;
+import static elderseam.rules.cel.Type.Plain.TIMESTAMP;
+import static elderseam.rules.cel.Type.Plain.UINT;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/elderseam/rules/lang/Texts.java
+++ b/src/main/java/elderseam/rules/cel/StringSteps.java
@@ -1,24 +1,24 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
-import elderseam.rules.lang.Program.Any;
-import elderseam.rules.lang.Program.Truth;
-import elderseam.rules.lang.Program.Whole;
+import elderseam.rules.cel.Program.Any;
+import elderseam.rules.cel.Program.Truth;
+import elderseam.rules.cel.Program.Whole;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
 /** Steps over strings; they allocate nothing but the strings that they put together. */
-final class Texts {
-    private Texts() {}
+final class StringSteps {
+    private StringSteps() {}
 
     /** The string of a step, or null with an error. */
-    private static String text(Inputs in, Any of) {
+    private static String text(EvaluationInputs in, Any of) {
         Object v = of.of(in);
         if (v instanceof String s) {
             return s;
         }
-        in.fail(Err.NO_OVERLOAD); // unless there is an error already
+        in.fail(EvaluationError.NO_OVERLOAD); // unless there is an error already
         return null;
     }
 
@@ -69,8 +69,8 @@
         };
     }
 
-    private static boolean generic(Inputs in, String function, Object x, Object y) {
-        Counter counter = in.counter();
+    private static boolean generic(EvaluationInputs in, String function, Object x, Object y) {
+        CostCounter counter = in.counter();
         Object v = Functions.call(function, new Object[] {x, y}, counter);
         in.spent(counter);
         return in.unboxed(v, false);
--- a/src/main/java/elderseam/rules/lang/Token.java
+++ b/src/main/java/elderseam/rules/cel/Token.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /**
  * One token. {@code value}: of a literal, decoded; the text of a name or a sign.
--- a/src/main/java/elderseam/rules/lang/Type.java
+++ b/src/main/java/elderseam/rules/cel/Type.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.List;
 
--- a/src/main/java/elderseam/rules/lang/Uint.java
+++ b/src/main/java/elderseam/rules/cel/UnsignedLong.java
@@ -1,9 +1,9 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 /** An unsigned whole number of 64 bits. */
-public record Uint(long bits) implements Comparable<Uint> {
+public record UnsignedLong(long bits) implements Comparable<UnsignedLong> {
     @Override
-    public int compareTo(Uint o) {
+    public int compareTo(UnsignedLong o) {
         return Long.compareUnsigned(bits, o.bits);
     }
 
--- a/src/main/java/elderseam/rules/lang/package-info.java
+++ b/src/main/java/elderseam/rules/cel/package-info.java
@@ -4,4 +4,4 @@
  * {@code Evaluator} is the reference, a walk over the tree that counts as it goes. No I/O, no clock; knows nothing of the rest of
  * the program.
  */
-package elderseam.rules.lang;
+package elderseam.rules.cel;
--- a/src/main/java/elderseam/settings/Contradiction.java
+++ b/src/main/java/elderseam/settings/ConflictingSettings.java
@@ -3,4 +3,4 @@
 import java.util.function.Predicate;
 
 /** Values that can't stand together: at which key that is told, and in which words. */
-public record Contradiction(Key<?> at, String words, Predicate<Settings> holds) {}
+public record ConflictingSettings(SettingKey<?> at, String words, Predicate<Settings> holds) {}
--- a/src/main/java/elderseam/settings/Sections.java
+++ b/src/main/java/elderseam/settings/SectionFile.java
@@ -9,7 +9,7 @@
  * A file of named sections, {@code [kind name]}, with values as an INI file has them, except that a value is all of its line as it
  * stands (expressions hold quotes, commas and signs of comments), and goes on in lines that begin with white space.
  */
-public final class Sections {
+public final class SectionFile {
     private static final int MOST_SECTIONS = 20_000;
 
     /** {@code line} and {@code column}, from 1, of the value's first character. */
@@ -40,7 +40,7 @@
         }
     }
 
-    private Sections() {}
+    private SectionFile() {}
 
     /** The sections of a file, of these kinds; what is wrong with its form is added to the faults. */
     public static List<Section> read(String file, List<String> lines, List<String> kinds, List<String> faults) {
--- a/src/main/java/elderseam/settings/Key.java
+++ b/src/main/java/elderseam/settings/SettingKey.java
@@ -10,7 +10,7 @@
  * @param allowed what is allowed, in words that follow "allowed: "
  * @param read the value of a text, or null where the text is none; it need not be told why
  */
-public record Key<T>(
+public record SettingKey<T>(
         String section, String name, String allowed, String absent, boolean live, Function<String, T> read) {
     public String path() {
         return section + "." + name;
@@ -22,20 +22,21 @@
     }
 
     /** A whole number from {@code least} to {@code most}. */
-    public static Key<Long> whole(
+    public static SettingKey<Long> whole(
             String section, String name, String unit, long least, long most, long absent, boolean live) {
-        return new Key<>(section, name, least + " to " + most + " " + unit, Long.toString(absent), live, text -> {
-            if (!text.matches("-?\\d{1,18}")) {
-                return null;
-            }
-            long value = Long.parseLong(text);
-            return value < least || value > most ? null : value;
-        });
+        return new SettingKey<>(
+                section, name, least + " to " + most + " " + unit, Long.toString(absent), live, text -> {
+                    if (!text.matches("-?\\d{1,18}")) {
+                        return null;
+                    }
+                    long value = Long.parseLong(text);
+                    return value < least || value > most ? null : value;
+                });
     }
 
     /** An address and a port to listen on, or off. */
-    public static Key<String> listen(String section, String name) {
-        return new Key<>(
+    public static SettingKey<String> listen(String section, String name) {
+        return new SettingKey<>(
                 section,
                 name,
                 "off, or ADDRESS:PORT",
@@ -45,17 +46,18 @@
     }
 
     /** Words apart by spaces or commas, each of that form; none by default. */
-    public static Key<List<String>> words(String section, String name, String allowed, String form, boolean live) {
-        return new Key<>(section, name, allowed, "", live, text -> {
+    public static SettingKey<List<String>> words(
+            String section, String name, String allowed, String form, boolean live) {
+        return new SettingKey<>(section, name, allowed, "", live, text -> {
             List<String> words = text.isEmpty() ? List.of() : List.of(text.split("[ ,]+"));
             return words.stream().allMatch(w -> w.matches(form)) ? words : null;
         });
     }
 
     /** Any text of one line that matches; empty by default means that it is not set. */
-    public static Key<String> text(
+    public static SettingKey<String> text(
             String section, String name, String allowed, String form, String absent, boolean live) {
-        return new Key<>(
+        return new SettingKey<>(
                 section, name, allowed, absent, live, text -> text.isEmpty() || text.matches(form) ? text : null);
     }
 
