--- a/src/main/java/elderseam/settings/Settings.java
+++ b/src/main/java/elderseam/settings/Settings.java
@@ -35,8 +35,9 @@
         return new Settings("", Map.of());
     }
 
-    /** Reads and checks a file against these keys; {@link Contradiction}s that its values fulfil are faults too. */
-    public static Settings read(Path file, Collection<? extends Key<?>> keys, List<Contradiction> contradictions)
+    /** Reads and checks a file against these keys; {@link ConflictingSettings}s that its values fulfil are faults too. */
+    public static Settings read(
+            Path file, Collection<? extends SettingKey<?>> keys, List<ConflictingSettings> contradictions)
             throws IOException {
         List<String> lines = lines(file, "a settings file");
         boolean empty =
@@ -49,7 +50,7 @@
         }
         settings.check(keys, faults);
         if (faults.isEmpty()) {
-            for (Contradiction c : contradictions) {
+            for (ConflictingSettings c : contradictions) {
                 if (c.holds().test(settings)) {
                     faults.add(settings.place(c.at()) + c.at().path() + ": " + c.words());
                 }
@@ -76,23 +77,23 @@
         }
     }
 
-    private void check(Collection<? extends Key<?>> keys, List<String> faults) {
-        Map<String, Key<?>> known = new LinkedHashMap<>();
+    private void check(Collection<? extends SettingKey<?>> keys, List<String> faults) {
+        Map<String, SettingKey<?>> known = new LinkedHashMap<>();
         keys.forEach(k -> known.put(k.path(), k));
         told.forEach((path, value) -> {
-            Key<?> key = known.get(path);
+            SettingKey<?> key = known.get(path);
             String at = file + ":" + value.line + ": " + path + ": ";
             String section = path.substring(0, path.indexOf('.'));
             List<String> siblings = known.values().stream()
                     .filter(k -> k.section().equals(section))
-                    .map(Key::name)
+                    .map(SettingKey::name)
                     .toList();
             if (siblings.isEmpty()) {
                 faults.add(at + "unknown section, allowed: "
                         + String.join(
                                 ", ",
                                 known.values().stream()
-                                        .map(Key::section)
+                                        .map(SettingKey::section)
                                         .distinct()
                                         .toList()));
             } else if (key == null) {
@@ -103,38 +104,38 @@
         });
     }
 
-    private String place(Key<?> key) {
+    private String place(SettingKey<?> key) {
         Told t = told.get(key.path());
         return file + (t == null ? ": " : ":" + t.line + ": ");
     }
 
     /** A value that the file tells, or its default. */
-    public <T> T get(Key<T> key) {
+    public <T> T get(SettingKey<T> key) {
         Told t = told.get(key.path());
         return t == null ? key.byDefault() : key.read().apply(t.text);
     }
 
-    public boolean tells(Key<?> key) {
+    public boolean tells(SettingKey<?> key) {
         return told.containsKey(key.path());
     }
 
     /** The value as text. */
-    public String text(Key<?> key) {
+    public String text(SettingKey<?> key) {
         Told t = told.get(key.path());
         return t == null ? key.absent() : t.text;
     }
 
     /** Where a value comes from: {@code file:line}, or {@code default}. */
-    public String origin(Key<?> key) {
+    public String origin(SettingKey<?> key) {
         Told t = told.get(key.path());
         return t == null ? "default" : file + ":" + t.line;
     }
 
     /** The keys whose values differ in another reading, those that can change live or those that can't. */
-    public List<String> changed(Settings other, Collection<? extends Key<?>> keys, boolean live) {
+    public List<String> changed(Settings other, Collection<? extends SettingKey<?>> keys, boolean live) {
         return keys.stream()
                 .filter(k -> k.live() == live && !text(k).equals(other.text(k)))
-                .map(Key::path)
+                .map(SettingKey::path)
                 .toList();
     }
 }
--- a/src/main/java/elderseam/acme/Authority.java
+++ b/src/main/java/elderseam/testkit/acme/StandInAuthority.java
@@ -1,18 +1,18 @@
-package elderseam.acme;
+package elderseam.testkit.acme;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import elderseam.core.Clock;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Reply;
-import elderseam.http.Server;
-import elderseam.http.Server.Answerer;
-import elderseam.http.Server.Request;
-import elderseam.http.UpstreamHost;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpResult;
+import elderseam.http.HttpServer;
+import elderseam.http.HttpServer.Answerer;
+import elderseam.http.HttpServer.Request;
+import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.math.BigInteger;
@@ -58,7 +58,7 @@
  * certificates for names that resolve to this machine. It keeps everything in memory; its root is trusted by nobody.
  * Not there: revocation, change of keys, external accounts, other challenges.
  */
-public final class Authority {
+public final class StandInAuthority {
     static {
         Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
@@ -97,9 +97,9 @@
 
     private final ObjectMapper json = new ObjectMapper();
     private final SecureRandom random = new SecureRandom();
-    private final Io io;
-    private final Connections connections;
-    private final Server server;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private final HttpServer server;
     private final int challengePort;
     private final Duration before, after;
     private volatile int ordered, signed;
@@ -115,19 +115,19 @@
     private final List<Order> orders = new ArrayList<>();
 
     /** Listens at that address; challenges are looked for at that port of the names ordered; what it signs holds for a week. */
-    public Authority(Io io, InetSocketAddress address, int challengePort) throws IOException {
+    public StandInAuthority(IoLoop io, InetSocketAddress address, int challengePort) throws IOException {
         this(io, address, challengePort, Duration.ofMinutes(1), Duration.ofDays(7));
     }
 
     /** What it signs holds from {@code before} it is signed until {@code after}. */
-    public Authority(Io io, InetSocketAddress address, int challengePort, Duration before, Duration after)
+    public StandInAuthority(IoLoop io, InetSocketAddress address, int challengePort, Duration before, Duration after)
             throws IOException {
         this.io = io;
         this.before = before;
         this.after = after;
         this.challengePort = challengePort;
-        this.connections = new Connections(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
-        this.server = new Server(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
+        this.connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
+        this.server = new HttpServer(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
     }
 
     public X509Certificate root() {
@@ -394,10 +394,10 @@
         String expected = a.token + "." + thumbprint(account.key);
         if (a.status.equals("pending")) {
             long by = io.clock.now() + VALIDATE_NS;
-            UpstreamHost named = new UpstreamHost("localhost", "127.0.0.1:" + challengePort);
+            EndpointAddress named = new EndpointAddress("localhost", "127.0.0.1:" + challengePort);
             connections.send(
                     named,
-                    Call.get("/.well-known/acme-challenge/" + a.token),
+                    HttpRequest.get("/.well-known/acme-challenge/" + a.token),
                     by,
                     by,
                     reply -> a.status = proves(reply, expected) ? "valid" : "invalid");
@@ -405,7 +405,7 @@
         answer(to, 200, Map.of("Link", "<" + url("/authz/" + i) + ">;rel=\"up\""), challenge(i, a));
     }
 
-    private static boolean proves(Reply reply, String expected) {
+    private static boolean proves(HttpResult reply, String expected) {
         return reply.answered()
                 && reply.code() == 200
                 && new String(reply.body(), StandardCharsets.UTF_8).strip().equals(expected);
--- a/src/main/java/elderseam/emulator/PlainInstance.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -1,11 +1,11 @@
-package elderseam.emulator;
-
-import elderseam.core.Answer;
-import elderseam.core.Attempt;
-import elderseam.core.Stream;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.module.Sender;
+package elderseam.testkit.emulator;
+
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Status;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,34 +18,34 @@
  * whether a call may go out now and to which endpoint. It keeps no journal, and
  * what it holds at its end is lost, but for the oracle's.
  */
-final class PlainInstance implements Instance {
+final class BaselineDispatcher implements EmulatedDispatcher {
     private static final long MARGIN_NS = 100 * Policies.MS,
             BACK_NS = 100 * Policies.MS,
             MOST_BACK_NS = 2_000 * Policies.MS;
 
     static final class Held {
-        final Stream.Message m;
+        final ActiveRequest.Message m;
         int attempts;
         boolean out, maybeRan;
 
-        Held(Stream.Message m) {
+        Held(ActiveRequest.Message m) {
             this.m = m;
         }
     }
 
     private final Place place;
-    private final Plain policy;
+    private final BaselinePolicy policy;
     private final Map<String, Held> held;
     private final Map<Long, List<String>> endpoints = new HashMap<>();
     private boolean closing;
     private int out;
 
-    PlainInstance(Place place, Plain policy) {
+    BaselineDispatcher(Place place, BaselinePolicy policy) {
         this(place, policy, new LinkedHashMap<>());
     }
 
     /** {@code kept}: what an earlier process held, which this one goes on with. */
-    PlainInstance(Place place, Plain policy, Map<String, Held> kept) {
+    BaselineDispatcher(Place place, BaselinePolicy policy, Map<String, Held> kept) {
         this.place = place;
         this.policy = policy;
         this.held = kept;
@@ -78,13 +78,13 @@
     }
 
     @Override
-    public Answer take(Stream.Message m) {
+    public FinalOutcome take(ActiveRequest.Message m) {
         Held known = held.get(m.id());
         if (known != null) {
             return null;
         }
         if (closing || held.size() >= place.plan().fleet().held() || !endpoints.containsKey(m.destination())) {
-            return Answer.refused(Policies.AGAIN_NS);
+            return FinalOutcome.refused(Policies.AGAIN_NS);
         }
         Held h = new Held(m);
         held.put(m.id(), h);
@@ -99,11 +99,11 @@
             return;
         }
         List<String> of = endpoints.getOrDefault(h.m.destination(), List.of());
-        Plain.Verdict v = out >= place.plan().fleet().slots() || of.isEmpty()
-                ? Plain.Verdict.later(BACK_NS)
+        BaselinePolicy.Verdict v = out >= place.plan().fleet().slots() || of.isEmpty()
+                ? BaselinePolicy.Verdict.later(BACK_NS)
                 : policy.pick(h.m.destination(), of, h.m, h.attempts, now);
         if (v.endpoint() == null && v.refuse()) {
-            end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
         } else if (v.endpoint() == null) {
             place.at(now + v.laterNs(), () -> tryNow(h));
         } else {
@@ -121,7 +121,7 @@
                 endpoint,
                 Math.min(now + 1_500 * Policies.MS, h.m.deadline() - MARGIN_NS),
                 h.m.deadline() - MARGIN_NS,
-                new Attempt() {
+                new AttemptListener() {
                     @Override
                     public boolean mayLeave() {
                         return held.get(h.m.id()) == h;
@@ -129,7 +129,7 @@
 
                     @Override
                     public void ended(End end) {
-                        PlainInstance.this.ended(h, endpoint, now, end);
+                        BaselineDispatcher.this.ended(h, endpoint, now, end);
                     }
 
                     @Override
@@ -149,9 +149,9 @@
             return;
         }
         if (end.status() == Status.DELIVERED) {
-            end(h, Answer.DELIVERED);
+            end(h, FinalOutcome.DELIVERED);
         } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().attempts()) {
-            end(h, h.maybeRan ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
         } else {
             place.at(
                     now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))),
@@ -161,7 +161,7 @@
 
     private void retry(Held h) {
         if (held.get(h.m.id()) == h && !mayRepeat(h, place.time().now())) {
-            end(h, Answer.FAILED);
+            end(h, FinalOutcome.FAILED);
         } else {
             tryNow(h);
         }
@@ -182,11 +182,11 @@
     private void expire(Held h) {
         if (held.get(h.m.id()) == h) {
             boolean unsure = h.maybeRan || h.out;
-            end(h, unsure ? Answer.FAILED : Answer.refused(Policies.AGAIN_NS));
+            end(h, unsure ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
         }
     }
 
-    private void end(Held h, Answer answer) {
+    private void end(Held h, FinalOutcome answer) {
         held.remove(h.m.id());
         place.ended(h.m, answer);
     }
--- a/src/main/java/elderseam/emulator/Plain.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -1,16 +1,16 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Stream;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.module.Sender;
+import elderseam.core.ActiveRequest;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Status;
+import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
 /** Whether a call may go out now, and to which of a destination's endpoints: policies to compare the module with. */
-abstract class Plain {
+abstract class BaselinePolicy {
     /** An endpoint; or to ask again later; or that the message is to be refused. */
     record Verdict(String endpoint, boolean refuse, long laterNs) {
         static Verdict to(String endpoint) {
@@ -25,7 +25,7 @@
     static final Verdict REFUSE = new Verdict(null, true, 0);
     private final Map<Long, Integer> turns = new HashMap<>();
 
-    abstract Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now);
+    abstract Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now);
 
     void listed(Sender.Endpoint e) {}
 
@@ -38,19 +38,19 @@
     }
 
     /** One after the other, with retries that back off. */
-    static final class RoundRobin extends Plain {
+    static final class RoundRobin extends BaselinePolicy {
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             return Verdict.to(next(destination, of));
         }
     }
 
     /** The endpoint with the fewest calls out. */
-    static final class LeastInFlight extends Plain {
+    static final class LeastInFlight extends BaselinePolicy {
         private final Map<String, Integer> out = new HashMap<>();
 
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             String best = next(destination, of);
             for (String e : of) {
                 best = out.getOrDefault(e, 0) < out.getOrDefault(best, 0) ? e : best;
@@ -70,7 +70,7 @@
     }
 
     /** A token bucket for each destination, of its listed rate: of all senders, as one that does not know the others. */
-    static final class TokenBucket extends Plain {
+    static final class TokenBucket extends BaselinePolicy {
         private final Map<Long, double[]> buckets = new HashMap<>(); // tokens, when, rate
 
         @Override
@@ -79,7 +79,7 @@
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             double[] b = buckets.get(destination);
             b[0] = Math.min(Math.max(1, b[2] / 4), b[0] + (now - b[1]) / 1e9 * b[2]);
             b[1] = now;
@@ -95,7 +95,7 @@
      * Adaptive concurrency for each destination: a limit that follows the ratio of the long-term to the present round trip, with room for
      * its square root (Netflix concurrency-limits, "Gradient2").
      */
-    static final class Gradient extends Plain {
+    static final class Gradient extends BaselinePolicy {
         private static final double SMOOTHING = 0.2, TOLERANCE = 1.5, DROP = 0.9;
 
         private static final class State {
@@ -106,7 +106,7 @@
         private final Map<Long, State> states = new HashMap<>();
 
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             State s = states.computeIfAbsent(destination, d -> new State());
             return s.out < s.limit ? Verdict.to(next(destination, of)) : Verdict.later(20_000_000);
         }
@@ -136,7 +136,7 @@
      * Client-side throttling: a request is refused here with probability (asked - K accepted) / (asked + 1) over two minutes (Beyer and
      * others, "Site Reliability Engineering", chapter 21), with K = 2.
      */
-    static final class Throttle extends Plain {
+    static final class Throttle extends BaselinePolicy {
         private static final double K = 2, HALF_LIFE_NS = 60e9;
 
         private final SplittableRandom random;
@@ -156,7 +156,7 @@
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             double[] c = at(destination, now);
             c[0]++;
             return random.nextDouble() < (c[0] - K * c[1]) / (c[0] + 1) ? REFUSE : Verdict.to(next(destination, of));
@@ -169,17 +169,17 @@
     }
 
     /** Knows how each destination really is, and that no other dispatcher has its room: what could be had, not what can. */
-    static final class Oracle extends Plain {
-        private final Instance.Place place;
+    static final class Oracle extends BaselinePolicy {
+        private final EmulatedDispatcher.Place place;
         private final Map<Long, Long> waits = new HashMap<>(); // it keeps the rules all the same
 
-        Oracle(Instance.Place place) {
+        Oracle(EmulatedDispatcher.Place place) {
             this.place = place;
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, Stream.Message m, int attempts, long now) {
-            Destination d = place.destination(destination);
+        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
+            EmulatedDestination d = place.destination(destination);
             long told = waits.getOrDefault(destination, 0L);
             if (!d.well(now) || now < told) {
                 return Verdict.later(Math.max(20_000_000, told - now));
--- a/src/main/java/elderseam/emulator/Clients.java
+++ b/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
@@ -1,8 +1,8 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.Stream;
-import elderseam.emulator.Watcher.Msg;
+import elderseam.core.ActiveRequest;
+import elderseam.core.FinalOutcome;
+import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,8 +10,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Everybody who hands messages in, and the front layer that picks a dispatcher: arrivals do not wait for answers (open loop). */
-final class Clients {
-    private static final long MS = World.MS, S = World.S, DAY_NS = 86_400 * S;
+final class ClientPopulation {
+    private static final long MS = EmulatedWorld.MS, S = EmulatedWorld.S, DAY_NS = 86_400 * S;
     private static final byte[] BODY = new byte[200];
     private static final double BURST_SHARE = 0.1, BURST_S = 1;
 
@@ -25,24 +25,24 @@
         }
     }
 
-    private final World world;
-    private final Plan plan;
+    private final EmulatedWorld world;
+    private final Scenario plan;
     private final UniformRandomProvider arrivals, choices, front, habits;
     private final Map<String, Open> open = new HashMap<>();
     private final double[] upTo; // of destinations: the rates added up
-    private final Destination[] order;
+    private final EmulatedDestination[] order;
     private final double[] mixUpTo = new double[3];
     private long ids;
     private boolean bursting;
 
-    Clients(World world) {
+    ClientPopulation(EmulatedWorld world) {
         this.world = world;
         this.plan = world.plan;
         this.arrivals = world.draws.of("arrivals");
         this.choices = world.draws.of("choices");
         this.front = world.draws.of("front");
         this.habits = world.draws.of("habits");
-        this.order = world.destinations.values().toArray(new Destination[0]);
+        this.order = world.destinations.values().toArray(new EmulatedDestination[0]);
         this.upTo = new double[order.length];
         double sum = 0;
         for (int i = 0; i < order.length; i++) {
@@ -57,7 +57,7 @@
     }
 
     void begin() {
-        if (plan.clients().arrivals() == Plan.Arrivals.BURSTY) {
+        if (plan.clients().arrivals() == Scenario.Arrivals.BURSTY) {
             burst();
         }
         next();
@@ -67,12 +67,12 @@
     private void burst() {
         double mean = bursting ? BURST_S * (1 - BURST_SHARE) / BURST_SHARE : BURST_S;
         bursting = !bursting;
-        world.time.at(world.time.now() + (long) (Draws.exponential(arrivals, mean) * S), this::burst);
+        world.time.at(world.time.now() + (long) (RandomStreams.exponential(arrivals, mean) * S), this::burst);
     }
 
     private double floods(long now) {
         double more = 0;
-        for (Plan.Flood f : plan.floods()) {
+        for (Scenario.Flood f : plan.floods()) {
             more += now >= f.at() * S && now < (f.at() + f.lasts()) * S
                     ? (f.factor() - 1) / plan.clients().tenants()
                     : 0;
@@ -101,7 +101,8 @@
 
     private void next() {
         double most = Math.max(1e-9, rate(world.time.now()));
-        long gap = (long) Math.min(S / 4, Draws.exponential(arrivals, S / most)); // looked at anew where the rate moves
+        long gap = (long)
+                Math.min(S / 4, RandomStreams.exponential(arrivals, S / most)); // looked at anew where the rate moves
         boolean comes = gap < S / 4;
         long at = world.time.now() + Math.max(1, gap);
         if (at >= plan.seconds() * S || at >= DAY_NS * 365) {
@@ -109,10 +110,10 @@
         }
         world.time.at(at, () -> {
             if (comes) {
-                int n = plan.clients().arrivals() == Plan.Arrivals.CLUMPED
+                int n = plan.clients().arrivals() == Scenario.Arrivals.CLUMPED
                         ? plan.clients().clump()
                         : 1;
-                Destination d = destination();
+                EmulatedDestination d = destination();
                 for (int i = 0; i < n; i++) {
                     make(d);
                 }
@@ -121,13 +122,13 @@
         });
     }
 
-    private Destination destination() {
+    private EmulatedDestination destination() {
         double draw = choices.nextDouble() * upTo[upTo.length - 1];
         int at = java.util.Arrays.binarySearch(upTo, draw);
         return order[Math.min(order.length - 1, at < 0 ? -at - 1 : at + 1)];
     }
 
-    private void make(Destination d) {
+    private void make(EmulatedDestination d) {
         long now = world.time.now();
         double draw = choices.nextDouble() * mixUpTo[2];
         int cls = draw < mixUpTo[0] ? 0 : draw < mixUpTo[1] ? 1 : 2;
@@ -150,7 +151,7 @@
             return (int) (draw * tenants);
         }
         draw -= 1;
-        for (Plan.Flood f : plan.floods()) {
+        for (Scenario.Flood f : plan.floods()) {
             if (now >= f.at() * S && now < (f.at() + f.lasts()) * S) {
                 draw -= (f.factor() - 1) / tenants;
                 if (draw < 0) {
@@ -163,7 +164,7 @@
 
     /** Hands a message in, or in again, at a dispatcher that answers. */
     private void hand(Open o) {
-        World.Seat seat = world.any(front);
+        EmulatedWorld.Seat seat = world.any(front);
         boolean again = o.tries++ > 0;
         world.watcher.handedIn(world.time.now(), o.m, again);
         if (seat == null) {
@@ -172,7 +173,7 @@
         }
         Msg m = o.m;
         o.taken = true;
-        Answer answer = seat.instance.take(new Stream.Message(
+        FinalOutcome answer = seat.instance.take(new ActiveRequest.Message(
                 m.id(),
                 (byte) 0,
                 m.cls(),
@@ -197,7 +198,7 @@
     }
 
     /** A final answer of a dispatcher. */
-    void answered(String id, Answer answer) {
+    void answered(String id, FinalOutcome answer) {
         Open o = open.get(id);
         if (o == null) {
             world.watcher.answered(
@@ -212,7 +213,7 @@
         }
         o.taken = false;
         world.watcher.answered(world.time.now(), o.m, answer);
-        if (answer.kind() == Answer.Kind.REFUSED) {
+        if (answer.kind() == FinalOutcome.Kind.REFUSED) {
             again(o, answer.againNs());
         } else {
             end(o, answer.kind());
@@ -226,13 +227,13 @@
         boolean past = window > 0
                 && at >= o.m.born() + window; // a repeat would no longer be dropped, as the platform's clients know
         if (past || at >= o.m.deadline() || o.tries > plan.clients().retries()) {
-            end(o, Answer.Kind.REFUSED);
+            end(o, FinalOutcome.Kind.REFUSED);
         } else {
             world.time.at(at, () -> hand(o));
         }
     }
 
-    private void end(Open o, Answer.Kind kind) {
+    private void end(Open o, FinalOutcome.Kind kind) {
         open.remove(o.m.id());
         world.watcher.over(world.time.now(), o.m, kind);
     }
--- a/src/main/java/elderseam/emulator/Destination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -1,9 +1,9 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.emulator.Plan.Fault;
-import elderseam.emulator.Watcher.Msg;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.testkit.emulator.Scenario.Fault;
+import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -12,7 +12,7 @@
  * A destination as all dispatchers meet it: a limit on calls a second, endpoints with slots and queues, service times, troubles, and a
  * cold return after one, in which it stands a share of its calls at first and falls over when pushed above a multiple of that.
  */
-final class Destination {
+final class EmulatedDestination {
     private static final long MS = 1_000_000, S = 1_000 * MS;
     private static final double CHANCE = 8; // calls at once that say nothing: they come at random
     private static final long ERROR_NS = 10 * MS, FLAP_NS = S;
@@ -30,10 +30,10 @@
     private record Spell(long from, long to, Fault fault, double factor) {}
 
     final long id;
-    final Plan.Kind kind;
+    final Scenario.Kind kind;
     final String[] endpoints;
     private final long seed;
-    private final Watcher watcher;
+    private final WorldListener watcher;
     private final List<Spell> spells = new ArrayList<>();
     private final List<PriorityQueue<Long>> busy = new ArrayList<>(); // of each endpoint: when its calls are done
     private double bucket, load;
@@ -41,7 +41,7 @@
     private double spare = 1;
     private long spareAt;
 
-    Destination(long id, Plan.Kind kind, long seed, Watcher watcher) {
+    EmulatedDestination(long id, Scenario.Kind kind, long seed, WorldListener watcher) {
         this.id = id;
         this.kind = kind;
         this.seed = seed;
@@ -107,7 +107,8 @@
         Spell s = spell(now);
         long service = (long) (kind.serviceMs()
                 * MS
-                * Math.exp(kind.spread() * Draws.normal(seed, m.id(), attempt, 1) - kind.spread() * kind.spread() / 2));
+                * Math.exp(kind.spread() * RandomStreams.normal(seed, m.id(), attempt, 1)
+                        - kind.spread() * kind.spread() / 2));
         if (s != null && (s.fault != Fault.FLAP || (now - s.from) / FLAP_NS % 2 == 0)) {
             switch (s.fault) {
                 case FAIL, FLAP -> {
@@ -120,7 +121,8 @@
                     return new Reply(Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? s.to - now : 0, 0, 0, -1);
                 }
                 case HANG -> { // half of what hangs was acted on
-                    return Reply.of(Status.TIMED_OUT, NEVER, Draws.unit(seed, m.id(), attempt, 5) < 0.5 ? service : -1);
+                    return Reply.of(
+                            Status.TIMED_OUT, NEVER, RandomStreams.unit(seed, m.id(), attempt, 5) < 0.5 ? service : -1);
                 }
                 case SILENT -> {
                     return new Reply(Progress.NOT_CONNECTED, Status.TIMED_OUT, NEVER, 0, 0, 0, -1);
@@ -146,7 +148,7 @@
         if (queued < 0) {
             return Reply.of(Status.NO_SLOT, 2 * MS, -1);
         }
-        if (Draws.unit(seed, m.id(), attempt, 4) < kind.errors()) {
+        if (RandomStreams.unit(seed, m.id(), attempt, 4) < kind.errors()) {
             return Reply.of(Status.ERROR, ERROR_NS, -1);
         }
         return new Reply(
@@ -224,7 +226,7 @@
 
     private double reported(Msg m, int attempt) {
         return kind.report()
-                ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * Draws.normal(seed, m.id(), attempt, 7))
+                ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * RandomStreams.normal(seed, m.id(), attempt, 7))
                 : 0;
     }
 }
--- a/src/main/java/elderseam/emulator/Instance.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDispatcher.java
@@ -1,40 +1,42 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.Stream;
-import elderseam.module.Sender;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
 import java.util.List;
 import java.util.function.BiConsumer;
 
 /** One dispatcher of the fleet: the real core, or a plain policy to compare it with. */
-interface Instance {
+interface EmulatedDispatcher {
     /** Where it is in the world: what it may use of it. */
     interface Place {
         VirtualTime time();
 
-        Plan plan();
+        Scenario plan();
 
-        /** An attempt leaves for an endpoint; as {@link elderseam.core.Upstream#send}. */
-        elderseam.core.UpstreamRequest send(
-                Stream.Message m, String endpoint, long connectBy, long answerBy, elderseam.core.Attempt attempt);
+        /** An attempt leaves for an endpoint; as {@link elderseam.core.AttemptSender#send}. */
+        EndpointCall send(
+                ActiveRequest.Message m, String endpoint, long connectBy, long answerBy, AttemptListener attempt);
 
         /** Its final answer for a message that it had taken on. */
-        void ended(Stream.Message m, Answer answer);
+        void ended(ActiveRequest.Message m, FinalOutcome answer);
 
         /** What it may know of a destination that nobody else does: for the oracle alone. */
-        Destination destination(long id);
+        EmulatedDestination destination(long id);
 
         /** Its number in the fleet, and what it sees of the others. */
         int number();
 
-        Shares.View view();
+        PartitionView.View view();
 
         /** A task of this life of its process: it is not run once the process has ended. */
         void at(long time, Runnable task);
     }
 
-    /** As {@link elderseam.core.Relay#take}: null where it was taken on. */
-    Answer take(Stream.Message m);
+    /** As {@link elderseam.core.RequestDispatcher#take}: null where it was taken on. */
+    FinalOutcome take(ActiveRequest.Message m);
 
     void hosts(Sender.ListKind kind, List<Sender.Endpoint> list);
 
--- a/src/main/java/elderseam/emulator/Network.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -1,27 +1,27 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Attempt;
-import elderseam.core.UpstreamRequest;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.emulator.Watcher.Msg;
+import elderseam.core.AttemptListener;
+import elderseam.core.EndpointCall;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Connections and what travels on them: delays, losses, resets, late answers. One for the world. */
-final class Network {
+final class EmulatedNetwork {
     private static final long MS = 1_000_000,
             LISTENS_NS = 1_000 * MS; // for the late answer of a call that was given up
 
     private final VirtualTime time;
-    private final Plan.Network plan;
-    private final Watcher watcher;
+    private final Scenario.Network plan;
+    private final WorldListener watcher;
     private final long seed;
     private final Map<String, Long> idleUntil =
             new HashMap<>(); // by dispatcher and endpoint: one idle connection stands for many
 
-    Network(VirtualTime time, Plan.Network plan, Watcher watcher, long seed) {
+    EmulatedNetwork(VirtualTime time, Scenario.Network plan, WorldListener watcher, long seed) {
         this.time = time;
         this.plan = plan;
         this.watcher = watcher;
@@ -29,7 +29,7 @@
     }
 
     private long delay(String id, int attempt, int what) {
-        return (long) (MS * (plan.delayMs() + plan.jitterMs() * Draws.unit(seed, id, attempt, what)));
+        return (long) (MS * (plan.delayMs() + plan.jitterMs() * RandomStreams.unit(seed, id, attempt, what)));
     }
 
     /** One call; {@code alive}: whether the process that made it still lives. */
@@ -38,21 +38,21 @@
             java.util.function.BooleanSupplier alive,
             Msg m,
             int number,
-            Destination to,
+            EmulatedDestination to,
             int endpoint,
             long connectBy,
             long answerBy,
-            Attempt attempt) {
+            AttemptListener attempt) {
         return new Call(dispatcher, alive, m, number, to, endpoint, connectBy, answerBy, attempt);
     }
 
-    final class Call implements UpstreamRequest {
+    final class Call implements EndpointCall {
         private final int dispatcher, number, endpoint;
         private final java.util.function.BooleanSupplier alive;
         private final Msg m;
-        private final Destination to;
+        private final EmulatedDestination to;
         private final long answerBy;
-        private final Attempt attempt;
+        private final AttemptListener attempt;
         private final String name;
         private Progress progress = Progress.NOT_CONNECTED;
         private boolean over, left;
@@ -62,11 +62,11 @@
                 java.util.function.BooleanSupplier alive,
                 Msg m,
                 int number,
-                Destination to,
+                EmulatedDestination to,
                 int endpoint,
                 long connectBy,
                 long answerBy,
-                Attempt attempt) {
+                AttemptListener attempt) {
             this.dispatcher = dispatcher;
             this.alive = alive;
             this.m = m;
@@ -81,7 +81,7 @@
             long connect = idle
                     ? 0
                     : to == null
-                            ? Destination.NEVER
+                            ? EmulatedDestination.NEVER
                             : (long) (to.kind.connectMs() * MS) + 2 * delay(m.id(), number, 11);
             if (time.now() + connect > connectBy) {
                 time.at(
@@ -108,20 +108,20 @@
             }
             watcher.called(time.now(), dispatcher, m, name);
             left = true;
-            boolean lost = plan.loss() > 0 && Draws.unit(seed, m.id(), number, 13) < plan.loss();
-            boolean after = lost && Draws.unit(seed, m.id(), number, 14) < 0.5;
+            boolean lost = plan.loss() > 0 && RandomStreams.unit(seed, m.id(), number, 13) < plan.loss();
+            boolean after = lost && RandomStreams.unit(seed, m.id(), number, 14) < 0.5;
             long way = delay(m.id(), number, 15);
             if (lost && !after) {
                 time.at(time.now() + way, () -> ends(End.unanswered(Progress.PARTLY_WRITTEN, Status.BROKEN)));
                 return;
             }
-            Destination.Reply r = to.call(time.now() + way, endpoint, m, number);
+            EmulatedDestination.Reply r = to.call(time.now() + way, endpoint, m, number);
             progress = r.progress() == Progress.NOT_CONNECTED ? Progress.NOT_CONNECTED : Progress.WRITTEN;
             if (r.ranNs() >= 0) {
                 time.at(time.now() + way + r.ranNs(), () -> watcher.ran(time.now(), m));
             }
-            long back = r.afterNs() >= Destination.NEVER
-                    ? Destination.NEVER
+            long back = r.afterNs() >= EmulatedDestination.NEVER
+                    ? EmulatedDestination.NEVER
                     : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
             if (lost) {
                 time.at(Math.min(answerBy, back), () -> ends(End.unanswered(Progress.WRITTEN, Status.BROKEN)));
@@ -133,7 +133,7 @@
             }
         }
 
-        private void answered(Destination.Reply r) {
+        private void answered(EmulatedDestination.Reply r) {
             End end = new End(r.progress(), r.status(), r.waitNs(), r.left(), r.perS());
             if (!alive.getAsBoolean()) {
                 return;
--- a/src/main/java/elderseam/emulator/World.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -1,11 +1,11 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.Attempt;
-import elderseam.core.Stream;
-import elderseam.core.UpstreamRequest;
-import elderseam.emulator.Watcher.Msg;
-import elderseam.module.Sender;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -16,16 +16,16 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** One run of a plan: destinations, network, discovery, the fleet and its restarts; what happens is told to watchers. */
-public final class World {
+public final class EmulatedWorld {
     static final long MS = 1_000_000, S = 1_000 * MS;
     private static final long DRAIN_NS = 5 * S, TERM_NS = 3_300 * MS, CLOSING_NS = 300 * MS;
 
     /** A dispatcher's place in the fleet; processes come and go there. */
-    final class Seat implements Instance.Place {
+    final class Seat implements EmulatedDispatcher.Place {
         final int number;
-        final MemoryStore store = new MemoryStore();
-        final Shares.View view = new Shares.View();
-        Instance instance;
+        final EmulatedStore store = new EmulatedStore();
+        final PartitionView.View view = new PartitionView.View();
+        EmulatedDispatcher instance;
         long life;
         boolean up, accepting;
 
@@ -44,21 +44,22 @@
         }
 
         @Override
-        public Shares.View view() {
+        public PartitionView.View view() {
             return view;
         }
 
         @Override
-        public Plan plan() {
+        public Scenario plan() {
             return plan;
         }
 
         @Override
-        public UpstreamRequest send(Stream.Message m, String endpoint, long connectBy, long answerBy, Attempt attempt) {
+        public EndpointCall send(
+                ActiveRequest.Message m, String endpoint, long connectBy, long answerBy, AttemptListener attempt) {
             long mine = life;
             Msg msg = clients.known(m.id());
             int e = endpoint.indexOf('e');
-            Destination to =
+            EmulatedDestination to =
                     endpoint.startsWith("wrong") ? null : destinations.get(Long.parseLong(endpoint.substring(1, e)));
             int tries = attempts.merge(m.id(), 1, Integer::sum);
             return network.call(
@@ -74,13 +75,13 @@
         }
 
         @Override
-        public void ended(Stream.Message m, Answer answer) {
+        public void ended(ActiveRequest.Message m, FinalOutcome answer) {
             attempts.remove(m.id());
             clients.answered(m.id(), answer);
         }
 
         @Override
-        public Destination destination(long id) {
+        public EmulatedDestination destination(long id) {
             return destinations.get(id);
         }
 
@@ -113,33 +114,33 @@
     }
 
     final VirtualTime time = new VirtualTime();
-    final Plan plan;
+    final Scenario plan;
     final long seed;
-    final Draws draws;
-    final Watcher watcher;
-    final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    final RandomStreams draws;
+    final WorldListener watcher;
+    final Map<Long, EmulatedDestination> destinations = new LinkedHashMap<>();
     private final Map<String, Integer> attempts = new HashMap<>();
     private final Map<String, Sender.Endpoint> listed = new LinkedHashMap<>();
     private final List<Seat> seats = new ArrayList<>();
     private final Policies.Maker maker;
-    private final Network network;
-    private final Clients clients;
+    private final EmulatedNetwork network;
+    private final ClientPopulation clients;
 
-    public World(Plan plan, String policy, long seed, List<Watcher> watchers) {
+    public EmulatedWorld(Scenario plan, String policy, long seed, List<WorldListener> watchers) {
         this(plan, Policies.of(policy), seed, watchers);
     }
 
-    World(Plan plan, Policies.Maker maker, long seed, List<Watcher> watchers) {
+    EmulatedWorld(Scenario plan, Policies.Maker maker, long seed, List<WorldListener> watchers) {
         this.plan = plan;
         this.seed = seed;
-        this.draws = new Draws(seed);
-        this.watcher = watchers.size() == 1 ? watchers.get(0) : new Watchers(watchers);
+        this.draws = new RandomStreams(seed);
+        this.watcher = watchers.size() == 1 ? watchers.get(0) : new WorldListeners(watchers);
         this.maker = maker;
-        this.network = new Network(time, plan.network(), watcher, seed);
+        this.network = new EmulatedNetwork(time, plan.network(), watcher, seed);
         for (int k = 0; k < plan.kinds().size(); k++) {
             for (int i = 0; i < plan.kinds().get(k).destinations(); i++) {
-                Destination d =
-                        new Destination(destinations.size() + 1, plan.kinds().get(k), seed, watcher);
+                EmulatedDestination d = new EmulatedDestination(
+                        destinations.size() + 1, plan.kinds().get(k), seed, watcher);
                 destinations.put(d.id, d);
                 for (String e : d.endpoints) {
                     listed.put(e, new Sender.Endpoint(e, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
@@ -151,7 +152,7 @@
                 }
             }
         }
-        this.clients = new Clients(this);
+        this.clients = new ClientPopulation(this);
         for (int i = 0; i < plan.fleet().dispatchers(); i++) {
             seats.add(new Seat(i));
         }
@@ -214,8 +215,8 @@
 
     // ---------------------------------------------------------------- what is done to it
 
-    private List<Destination> part(String kind, double part, String name) {
-        List<Destination> of = shuffled(
+    private List<EmulatedDestination> part(String kind, double part, String name) {
+        List<EmulatedDestination> of = shuffled(
                 destinations.values().stream()
                         .filter(d -> d.kind.name().equals(kind))
                         .toList(),
@@ -234,13 +235,13 @@
     }
 
     private void troubles() {
-        for (Plan.Trouble t : plan.troubles()) {
+        for (Scenario.Trouble t : plan.troubles()) {
             long from = (long) (t.at() * S), to = (long) ((t.at() + t.lasts()) * S);
-            for (Destination d : part(t.kind(), t.part(), t.name())) {
+            for (EmulatedDestination d : part(t.kind(), t.part(), t.name())) {
                 d.trouble(from, to, t.fault(), t.factor());
                 time.at(from, () -> watcher.trouble(time.now(), d.id, true));
                 time.at(to, () -> {
-                    if (t.fault() != Plan.Fault.SLOW) {
+                    if (t.fault() != Scenario.Fault.SLOW) {
                         d.returns(to);
                     }
                     watcher.trouble(time.now(), d.id, false);
@@ -250,8 +251,8 @@
     }
 
     private void drains() {
-        for (Plan.Drain drain : plan.drains()) {
-            for (Destination d : part(drain.kind(), drain.part(), drain.name())) {
+        for (Scenario.Drain drain : plan.drains()) {
+            for (EmulatedDestination d : part(drain.kind(), drain.part(), drain.name())) {
                 String e = d.endpoints[0];
                 time.at((long) (drain.at() * S), () -> listing(e, Sender.Listing.DRAINING));
                 time.at((long) (drain.at() * S) + DRAIN_NS, () -> listing(e, Sender.Listing.GONE));
@@ -291,7 +292,7 @@
     }
 
     private void restarts() {
-        for (Plan.Restart r : plan.restarts()) {
+        for (Scenario.Restart r : plan.restarts()) {
             List<Seat> order = shuffled(seats, "restart " + r.name());
             int n = (int) Math.max(1, Math.round(r.part() * order.size()));
             for (int i = 0; i < n; i++) {
@@ -302,7 +303,7 @@
                     if (!s.up) {
                         return;
                     }
-                    if (r.how() == Plan.How.KILL) {
+                    if (r.how() == Scenario.How.KILL) {
                         s.stop();
                         time.at(time.now() + down, s::start);
                     } else {
--- a/src/main/java/elderseam/emulator/Shares.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -1,9 +1,9 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Relay;
-import elderseam.fleet.share.FleetSize;
-import elderseam.fleet.share.Subsets;
-import elderseam.module.Sender;
+import elderseam.core.RequestDispatcher;
+import elderseam.fleet.partition.EndpointSubsetting;
+import elderseam.fleet.partition.FleetSizeEstimator;
+import elderseam.policy.Sender;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,11 +12,11 @@
 import java.util.Set;
 
 /**
- * What an emulated dispatcher is told of its part of what all do: the shipped decisions ({@link FleetSize}, {@link Subsets}) on a
+ * What an emulated dispatcher is told of its part of what all do: the shipped decisions ({@link FleetSizeEstimator}, {@link EndpointSubsetting}) on a
  * membership that is late, as gossip's is: one that comes is seen by each after its own half to one and a half seconds, one that goes
  * after five to eight (a suspicion of 4 s and a probe's wait), where it was not back before.
  */
-final class Shares {
+final class PartitionView {
     private static final long S = 1_000_000_000L, HOLD_NS = 20 * S, LOOK_NS = 250_000_000L;
 
     /** What each dispatcher knows of the others. */
@@ -39,19 +39,19 @@
         }
     }
 
-    private final Instance.Place place;
-    private final Relay relay;
-    private final FleetSize size;
+    private final EmulatedDispatcher.Place place;
+    private final RequestDispatcher relay;
+    private final FleetSizeEstimator size;
     private final Map<Long, List<String>> listed = new HashMap<>();
     private Set<Integer> members = Set.of();
     private Set<String> preferred = Set.of();
     private int sharers;
     private boolean changed;
 
-    Shares(Instance.Place place, Relay relay) {
+    PartitionView(EmulatedDispatcher.Place place, RequestDispatcher relay) {
         this.place = place;
         this.relay = relay;
-        this.size = new FleetSize(place.plan().fleet().dispatchers(), HOLD_NS);
+        this.size = new FleetSizeEstimator(place.plan().fleet().dispatchers(), HOLD_NS);
         place.at(place.time().now(), this::look);
     }
 
@@ -81,7 +81,7 @@
             List<String> names = now.stream().map(n -> "m" + n).toList();
             Set<String> all = new HashSet<>();
             listed.values().forEach(all::addAll);
-            preferred = Subsets.preferred(
+            preferred = EndpointSubsetting.preferred(
                     "m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
             relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
         }
--- a/src/main/java/elderseam/emulator/Policies.java
+++ b/src/main/java/elderseam/testkit/emulator/Policies.java
@@ -1,6 +1,6 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.module.Sender;
+import elderseam.policy.Sender;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,27 +19,30 @@
 
     /** Makes a dispatcher's process; the store is what outlasts it. */
     interface Maker {
-        Instance make(Instance.Place place, MemoryStore store, long seed);
+        EmulatedDispatcher make(EmulatedDispatcher.Place place, EmulatedStore store, long seed);
     }
 
     private static final Map<String, Maker> ALL = new LinkedHashMap<>();
 
     static {
-        ALL.put("module", (place, store, seed) -> new ModuleInstance(place, store, seed, true, false));
+        ALL.put("module", (place, store, seed) -> new PolicyDispatcher(place, store, seed, true, false));
         ALL.put(
                 "shares",
                 (place, store, seed) ->
-                        new ModuleInstance(place, store, seed, true, true)); // told its part of what all do
+                        new PolicyDispatcher(place, store, seed, true, true)); // told its part of what all do
         ALL.put(
                 "forgets",
-                (place, store, seed) -> new ModuleInstance(
+                (place, store, seed) -> new PolicyDispatcher(
                         place, store, seed, false, false)); // what it learned, at each end of a process
-        ALL.put("robin", (place, store, seed) -> new PlainInstance(place, new Plain.RoundRobin()));
-        ALL.put("least", (place, store, seed) -> new PlainInstance(place, new Plain.LeastInFlight()));
-        ALL.put("bucket", (place, store, seed) -> new PlainInstance(place, new Plain.TokenBucket()));
-        ALL.put("gradient", (place, store, seed) -> new PlainInstance(place, new Plain.Gradient()));
-        ALL.put("throttle", (place, store, seed) -> new PlainInstance(place, new Plain.Throttle(seed)));
-        ALL.put("oracle", (place, store, seed) -> new PlainInstance(place, new Plain.Oracle(place), store.kept));
+        ALL.put("robin", (place, store, seed) -> new BaselineDispatcher(place, new BaselinePolicy.RoundRobin()));
+        ALL.put("least", (place, store, seed) -> new BaselineDispatcher(place, new BaselinePolicy.LeastInFlight()));
+        ALL.put("bucket", (place, store, seed) -> new BaselineDispatcher(place, new BaselinePolicy.TokenBucket()));
+        ALL.put("gradient", (place, store, seed) -> new BaselineDispatcher(place, new BaselinePolicy.Gradient()));
+        ALL.put("throttle", (place, store, seed) -> new BaselineDispatcher(place, new BaselinePolicy.Throttle(seed)));
+        ALL.put(
+                "oracle",
+                (place, store, seed) ->
+                        new BaselineDispatcher(place, new BaselinePolicy.Oracle(place), store.survivingMessages));
     }
 
     private Policies() {}
@@ -56,9 +59,9 @@
         return m;
     }
 
-    static Sender.Settings settings(Plan p) {
-        Plan.Kind first = p.kinds().get(0);
-        boolean told = p.kinds().stream().anyMatch(Plan.Kind::report);
+    static Sender.Settings settings(Scenario p) {
+        Scenario.Kind first = p.kinds().get(0);
+        boolean told = p.kinds().stream().anyMatch(Scenario.Kind::report);
         return new Sender.Settings(
                 CLASSES,
                 p.kinds().stream().map(k -> new Sender.Kind(false, 1)).toList(),
--- a/src/main/java/elderseam/emulator/ModuleInstance.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -1,23 +1,24 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.Attempt;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
-import elderseam.core.Front;
+import elderseam.core.EndpointCall;
+import elderseam.core.EventLoop;
+import elderseam.core.FinalOutcome;
+import elderseam.core.Frontend;
+import elderseam.core.InMemoryJournalStore;
 import elderseam.core.Journal;
-import elderseam.core.Loop;
-import elderseam.core.Relay;
-import elderseam.core.Stream;
-import elderseam.core.Upstream;
-import elderseam.core.UpstreamRequest;
-import elderseam.module.Sender;
+import elderseam.core.RequestDispatcher;
+import elderseam.policy.Sender;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.function.BiConsumer;
 
 /** The real module behind the real facade, with the real core and its journal, on virtual time and a store in memory. */
-final class ModuleInstance implements Instance, Loop, Front, Upstream {
+final class PolicyDispatcher implements EmulatedDispatcher, EventLoop, Frontend, AttemptSender {
     private static final long JOURNAL_BYTES = 8_000_000, EPOCH_MS = 1_800_000_000_000L;
 
     /** The clocks of the emulated process. */
@@ -40,16 +41,16 @@
     }
 
     private final Place place;
-    private final Relay relay;
-    private final Shares shares; // null: as the settings told once and for all
+    private final RequestDispatcher relay;
+    private final PartitionView shares; // null: as the settings told once and for all
 
     /** {@code remembers}: what it learns outlasts its process; {@code shares}: it is told its part of what all do. */
-    ModuleInstance(Place place, MemoryStore store, long seed, boolean remembers, boolean shares) {
+    PolicyDispatcher(Place place, InMemoryJournalStore store, long seed, boolean remembers, boolean shares) {
         this.place = place;
         Clock clock = new Virtual(place.time());
         try {
             Journal journal = new Journal(store, JOURNAL_BYTES, clock);
-            relay = new Relay(Policies.settings(place.plan()), seed, journal, clock, this, words -> {});
+            relay = new RequestDispatcher(Policies.settings(place.plan()), seed, journal, clock, this, words -> {});
         } catch (IOException e) {
             throw new UncheckedIOException(e); // memory does not fail so
         }
@@ -57,11 +58,11 @@
         if (remembers) {
             relay.handover().remember();
         }
-        this.shares = shares ? new Shares(place, relay) : null;
+        this.shares = shares ? new PartitionView(place, relay) : null;
     }
 
     @Override
-    public Answer take(Stream.Message m) {
+    public FinalOutcome take(ActiveRequest.Message m) {
         return relay.take(m);
     }
 
@@ -111,13 +112,14 @@
     }
 
     @Override
-    public void ended(Stream.Message message, Answer answer) {
+    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
         relay.told(message.id());
         place.ended(message, answer);
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
+    public EndpointCall send(
+            ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
         return place.send(m, host, connectBy, answerBy, attempt);
     }
 
--- a/src/main/java/elderseam/emulator/Draws.java
+++ b/src/main/java/elderseam/testkit/emulator/RandomStreams.java
@@ -1,4 +1,4 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -6,11 +6,11 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Random numbers, a stream for each name, so that what draws more from one shifts no other. */
-final class Draws {
+final class RandomStreams {
     private final long seed;
     private final Map<String, UniformRandomProvider> streams = new HashMap<>();
 
-    Draws(long seed) {
+    RandomStreams(long seed) {
         this.seed = seed;
     }
 
--- a/src/main/java/elderseam/emulator/Checkers.java
+++ b/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
@@ -1,7 +1,7 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.UpstreamRequest;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -12,7 +12,7 @@
  * takes effect once, a keyed one once in its window; one attempt of a message is out at a time, and no dispatcher has more out than
  * its slots; a told wait is kept, and so is an endpoint that drains. A cold partner that was pushed over is counted, not a fault.
  */
-public final class Checkers implements Watcher {
+public final class RuleCheckers implements WorldListener {
     /** What can be broken. */
     public enum Rule {
         ANSWERED_TWICE("answered_twice"),
@@ -57,7 +57,7 @@
     private final StringBuilder words = new StringBuilder();
     private int felled, told;
 
-    public Checkers(int slots) {
+    public RuleCheckers(int slots) {
         this.slots = slots;
     }
 
@@ -75,7 +75,7 @@
     }
 
     @Override
-    public void answered(long now, Msg m, Answer answer) {
+    public void answered(long now, Msg m, FinalOutcome answer) {
         if (m.cls() < 0) {
             breaks(Rule.ANSWERED_TWICE, now, m.id() + " is answered " + answer.kind() + " though nobody waits");
         } else if (now > m.deadline() + LATE_NS
@@ -85,7 +85,7 @@
     }
 
     @Override
-    public void over(long now, Msg m, Answer.Kind kind) {
+    public void over(long now, Msg m, FinalOutcome.Kind kind) {
         if (kind == null) {
             breaks(Rule.LOST, now, m.id() + " never had an answer");
         }
@@ -113,7 +113,7 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
         out.merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
         outOf.merge(dispatcher, -1, Integer::sum);
         outBy.get(dispatcher).merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -1,14 +1,14 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.UpstreamRequest;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
 /** What a run came to: service, latencies by class, refusals, calls; by the second where messages were born. */
-public final class Tally implements Watcher {
+public final class RunStatistics implements WorldListener {
     private static final long S = 1_000_000_000L, MS = 1_000_000L;
     private static final int WORST_S = 10;
 
@@ -22,7 +22,7 @@
     private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
     private int connections, mostConnected;
 
-    public Tally(Plan plan) {
+    public RunStatistics(Scenario plan) {
         int n = (int) Math.ceil(plan.seconds()) + 60;
         possible = new double[n];
         worth = new double[n];
@@ -48,14 +48,14 @@
     }
 
     @Override
-    public void answered(long now, Msg m, Answer answer) {
-        if (answer.kind() == Answer.Kind.REFUSED) {
+    public void answered(long now, Msg m, FinalOutcome answer) {
+        if (answer.kind() == FinalOutcome.Kind.REFUSED) {
             refusedAt[second(now)]++;
         }
     }
 
     @Override
-    public void over(long now, Msg m, Answer.Kind kind) {
+    public void over(long now, Msg m, FinalOutcome.Kind kind) {
         if (kind == null) {
             lost++;
             return;
@@ -95,8 +95,8 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
-        if (end.status() != UpstreamRequest.Status.DELIVERED && end.status() != UpstreamRequest.Status.FULL) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
+        if (end.status() != EndpointCall.Status.DELIVERED && end.status() != EndpointCall.Status.FULL) {
             failedCalls++;
             failedAt[second(now)]++;
         }
--- a/src/main/java/elderseam/emulator/Plan.java
+++ b/src/main/java/elderseam/testkit/emulator/Scenario.java
@@ -1,9 +1,9 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import java.util.List;
 
 /** All of an experiment but its seed and its policy. Times are seconds from the start unless they say otherwise. */
-public record Plan(
+public record Scenario(
         String name,
         double seconds,
         Fleet fleet,
--- a/src/main/java/elderseam/emulator/PlanFile.java
+++ b/src/main/java/elderseam/testkit/emulator/ScenarioFile.java
@@ -1,7 +1,7 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.settings.Sections;
-import elderseam.settings.Sections.Section;
+import elderseam.settings.SectionFile;
+import elderseam.settings.SectionFile.Section;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
@@ -11,8 +11,8 @@
 import java.util.List;
 import java.util.Map;
 
-/** A scenario file to a {@link Plan}: whole or not at all, every fault told with its place and what is allowed. */
-public final class PlanFile {
+/** A scenario file to a {@link Scenario}: whole or not at all, every fault told with its place and what is allowed. */
+public final class ScenarioFile {
     private static final List<String> KINDS = List.of(
             "scenario", "fleet", "kind", "trouble", "clients", "flood", "restart", "drain", "network", "discovery");
 
@@ -21,20 +21,20 @@
     private final Map<Section, List<String>> asked = new LinkedHashMap<>();
     private final String file;
 
-    private PlanFile(String file, List<String> lines) {
+    private ScenarioFile(String file, List<String> lines) {
         this.file = file;
-        this.sections = Sections.read(file, lines, KINDS, faults);
+        this.sections = SectionFile.read(file, lines, KINDS, faults);
     }
 
-    public static Plan read(Path file) throws IOException {
+    public static Scenario read(Path file) throws IOException {
         return of(file.toString(), Settings.lines(file, "a scenario"), Map.of());
     }
 
     /** {@code set}: values by {@code kind.name.key} that take the place of the file's, as a sweep has them. */
-    public static Plan of(String file, List<String> lines, Map<String, String> set) throws SettingsFault {
-        PlanFile p = new PlanFile(file, lines);
+    public static Scenario of(String file, List<String> lines, Map<String, String> set) throws SettingsFault {
+        ScenarioFile p = new ScenarioFile(file, lines);
         set.forEach(p::set);
-        Plan plan = p.faults.isEmpty() ? p.plan() : null;
+        Scenario plan = p.faults.isEmpty() ? p.plan() : null;
         if (!p.faults.isEmpty()) {
             throw new SettingsFault(p.faults);
         }
@@ -52,20 +52,20 @@
         if (s == null) {
             faults.add(file + ": " + path + " is no value of it, allowed: KIND.NAME.KEY of a section that is there");
         } else {
-            s.values().put(part[2], new ArrayList<>(List.of(new Sections.Value(value, s.line(), 1))));
+            s.values().put(part[2], new ArrayList<>(List.of(new SectionFile.Value(value, s.line(), 1))));
         }
     }
 
-    private Plan plan() {
+    private Scenario plan() {
         Section scenario = one("scenario"),
                 fleet = one("fleet"),
                 clients = one("clients"),
                 network = one("network"),
                 discovery = one("discovery");
-        Plan plan = new Plan(
+        Scenario plan = new Scenario(
                 scenario == null ? "" : scenario.name(),
                 number(scenario, "seconds", 0.1, 1_000_000, 60),
-                new Plan.Fleet(
+                new Scenario.Fleet(
                         whole(fleet, "dispatchers", 1, 1_000, 4),
                         whole(fleet, "slots", 1, 100_000, 64),
                         whole(fleet, "held", 1, 1_000_000, 400),
@@ -76,7 +76,7 @@
                 all("trouble").stream().map(this::trouble).toList(),
                 clients(clients),
                 all("flood").stream()
-                        .map(s -> new Plan.Flood(
+                        .map(s -> new Scenario.Flood(
                                 s.name(),
                                 whole(s, "tenant", 1, 100, 1),
                                 number(s, "factor", 0, 1_000, 5.9),
@@ -84,23 +84,23 @@
                                 number(s, "for", 0, 1e6, 1e6)))
                         .toList(),
                 all("restart").stream()
-                        .map(s -> new Plan.Restart(
+                        .map(s -> new Scenario.Restart(
                                 s.name(),
                                 number(s, "at", 0, 1e6, 0),
                                 number(s, "within", 0, 1e6, 0),
                                 number(s, "part", 0, 1, 1),
-                                word(s, "how", Plan.How.class, Plan.How.KILL),
+                                word(s, "how", Scenario.How.class, Scenario.How.KILL),
                                 number(s, "down_ms", 0, 1e6, 1_500)))
                         .toList(),
                 all("drain").stream()
-                        .map(s -> new Plan.Drain(
+                        .map(s -> new Scenario.Drain(
                                 s.name(), s.text("kind", ""), number(s, "part", 0, 1, 1), number(s, "at", 0, 1e6, 0)))
                         .toList(),
-                new Plan.Network(
+                new Scenario.Network(
                         number(network, "delay_ms", 0, 10_000, 0.5),
                         number(network, "jitter_ms", 0, 10_000, 0.5),
                         number(network, "loss", 0, 1, 0)),
-                new Plan.Discovery(
+                new Scenario.Discovery(
                         number(discovery, "late_ms", 0, 1e6, 50),
                         number(discovery, "down_at", 0, 1e6, 0),
                         number(discovery, "down_for", 0, 1e6, 0),
@@ -109,7 +109,7 @@
         return plan;
     }
 
-    private void check(Plan plan) {
+    private void check(Scenario plan) {
         if (plan.kinds().isEmpty() && faults.isEmpty()) {
             faults.add(file + ": no kind of destination, allowed: at least one [kind NAME]");
         }
@@ -127,7 +127,9 @@
                             + "' is no kind, allowed: "
                             + String.join(
                                     ", ",
-                                    plan.kinds().stream().map(Plan.Kind::name).toList()));
+                                    plan.kinds().stream()
+                                            .map(Scenario.Kind::name)
+                                            .toList()));
                 }
             }
         }
@@ -141,13 +143,13 @@
         }));
     }
 
-    private Plan.Kind kind(Section s) {
-        return new Plan.Kind(
+    private Scenario.Kind kind(Section s) {
+        return new Scenario.Kind(
                 s.name(),
                 whole(s, "destinations", 1, 100_000, 4),
                 whole(s, "endpoints", 1, 100, 2),
                 number(s, "per_s", 0.001, 1e6, 40),
-                word(s, "limit", Plan.Limit.class, Plan.Limit.RATE),
+                word(s, "limit", Scenario.Limit.class, Scenario.Limit.RATE),
                 whole(s, "window_ms", 10, 3_600_000, 1_000),
                 flag(s, "told", true),
                 flag(s, "refused_count", false),
@@ -167,18 +169,18 @@
                 number(s, "load", 0, 100, 0.6));
     }
 
-    private Plan.Trouble trouble(Section s) {
-        return new Plan.Trouble(
+    private Scenario.Trouble trouble(Section s) {
+        return new Scenario.Trouble(
                 s.name(),
                 s.text("kind", ""),
                 number(s, "part", 0, 1, 1),
                 number(s, "at", 0, 1e6, 0),
                 number(s, "for", 0, 1e6, 10),
-                word(s, "fault", Plan.Fault.class, Plan.Fault.FAIL),
+                word(s, "fault", Scenario.Fault.class, Scenario.Fault.FAIL),
                 number(s, "factor", 1, 1e6, 10));
     }
 
-    private Plan.Clients clients(Section s) {
+    private Scenario.Clients clients(Section s) {
         double[] mix = {5, 3, 2};
         if (s != null && s.has("mix")) {
             String[] part = s.text("mix", "").strip().split(" +");
@@ -196,8 +198,8 @@
         if (s != null) {
             asked(s, "mix");
         }
-        return new Plan.Clients(
-                word(s, "arrivals", Plan.Arrivals.class, Plan.Arrivals.POISSON),
+        return new Scenario.Clients(
+                word(s, "arrivals", Scenario.Arrivals.class, Scenario.Arrivals.POISSON),
                 number(s, "scale", 0, 1_000, 1),
                 whole(s, "tenants", 1, 100, 4),
                 mix,
@@ -260,7 +262,7 @@
         return text.equals("on");
     }
 
-    private <E extends Enum<E> & Plan.WireNamed> E word(Section s, String key, Class<E> of, E absent) {
+    private <E extends Enum<E> & Scenario.WireNamed> E word(Section s, String key, Class<E> of, E absent) {
         if (s == null) {
             return absent;
         }
@@ -275,7 +277,7 @@
                 + String.join(
                         ", ",
                         java.util.Arrays.stream(of.getEnumConstants())
-                                .map(Plan.WireNamed::wireName)
+                                .map(Scenario.WireNamed::wireName)
                                 .toList()));
         return absent;
     }
--- a/src/main/java/elderseam/emulator/VirtualTime.java
+++ b/src/main/java/elderseam/testkit/emulator/VirtualTime.java
@@ -1,4 +1,4 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import java.util.PriorityQueue;
 
--- a/src/main/java/elderseam/emulator/Watcher.java
+++ b/src/main/java/elderseam/testkit/emulator/WorldListener.java
@@ -1,10 +1,10 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.UpstreamRequest;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
 
 /** What happens in a world, told to whoever watches: times in ns of virtual time, dispatchers by their number. */
-public interface Watcher {
+public interface WorldListener {
     /** A client's message as the world knows it; what it becomes is its watchers' to keep. */
     record Msg(String id, int cls, int tenant, long destination, long born, long deadline) {}
 
@@ -14,10 +14,10 @@
     default void taken(long now, int dispatcher, Msg m) {}
 
     /** A dispatcher's final answer has reached the client: with REFUSED it may hand the message in again. */
-    default void answered(long now, Msg m, Answer answer) {}
+    default void answered(long now, Msg m, FinalOutcome answer) {}
 
     /** Nothing more will come of the message: the client's own end of it. */
-    default void over(long now, Msg m, Answer.Kind kind) {}
+    default void over(long now, Msg m, FinalOutcome.Kind kind) {}
 
     /** A dispatcher sends an attempt. */
     default void called(long now, int dispatcher, Msg m, String endpoint) {}
@@ -26,7 +26,7 @@
     default void connects(long now, int dispatcher, String endpoint, long until) {}
 
     /** It knows how the attempt ended, or gave it up. */
-    default void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {}
+    default void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {}
 
     /** A destination acts on a message. */
     default void ran(long now, Msg m) {}
--- a/src/main/java/elderseam/emulator/Watchers.java
+++ b/src/main/java/elderseam/testkit/emulator/WorldListeners.java
@@ -1,14 +1,14 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.UpstreamRequest;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
 import java.util.List;
 
 /** Several that watch one world, each told in turn. */
-final class Watchers implements Watcher {
-    private final List<Watcher> all;
+final class WorldListeners implements WorldListener {
+    private final List<WorldListener> all;
 
-    Watchers(List<Watcher> all) {
+    WorldListeners(List<WorldListener> all) {
         this.all = List.copyOf(all);
     }
 
@@ -23,12 +23,12 @@
     }
 
     @Override
-    public void answered(long now, Msg m, Answer answer) {
+    public void answered(long now, Msg m, FinalOutcome answer) {
         all.forEach(w -> w.answered(now, m, answer));
     }
 
     @Override
-    public void over(long now, Msg m, Answer.Kind kind) {
+    public void over(long now, Msg m, FinalOutcome.Kind kind) {
         all.forEach(w -> w.over(now, m, kind));
     }
 
@@ -43,7 +43,7 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
         all.forEach(w -> w.ended(now, dispatcher, m, endpoint, end));
     }
 
--- a/src/main/java/elderseam/fleet/rig/Member.java
+++ b/src/main/java/elderseam/testkit/faults/ClusterMember.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -17,7 +17,7 @@
 import java.util.stream.Stream;
 
 /** One process of the program: started, stalled, killed and started again with its folder kept. */
-final class Member {
+final class ClusterMember {
     private static final long PATIENCE_S = 60;
 
     final String name;
@@ -30,7 +30,7 @@
     private volatile long readyNs;
 
     /** {@code folder} has its settings, {@code elderseam.ini}; {@code log} is told each line the process says. */
-    Member(String name, Path folder, Map<String, String> variables, Consumer<String> log) {
+    ClusterMember(String name, Path folder, Map<String, String> variables, Consumer<String> log) {
         this.name = name;
         this.folder = folder;
         this.variables = variables;
--- a/src/main/java/elderseam/fleet/rig/DatagramProxy.java
+++ b/src/main/java/elderseam/testkit/faults/DatagramProxy.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -15,14 +15,14 @@
 
 /**
  * The address at which one party's datagrams are reached, beside its {@link FaultProxy} on the same port. A datagram on a cut
- * link is lost, as is each that the {@link Network} draws; one that is delayed may be overtaken. Who sends is told by the
+ * link is lost, as is each that the {@link LinkTable} draws; one that is delayed may be overtaken. Who sends is told by the
  * address it sends from, since a party's datagrams leave from where it listens. Answers to where a datagram seemed to come from
  * go back the same way, so each sender has a socket of its own here; a thread a socket.
  */
 final class DatagramProxy implements Closeable {
     private static final int LONGEST = 2_048;
 
-    private final Network network;
+    private final LinkTable network;
     private final String to;
     private final InetSocketAddress target;
     private final Map<SocketAddress, String> names;
@@ -31,7 +31,7 @@
     private final ScheduledExecutorService late;
 
     /** At {@code port} of 127.0.0.1, for {@code to} which listens at {@code target}; {@code names}: who sends from where. */
-    DatagramProxy(Network network, String to, int port, InetSocketAddress target, Map<SocketAddress, String> names)
+    DatagramProxy(LinkTable network, String to, int port, InetSocketAddress target, Map<SocketAddress, String> names)
             throws IOException {
         this.network = network;
         this.to = to;
--- a/src/main/java/elderseam/fleet/rig/Outside.java
+++ b/src/main/java/elderseam/testkit/faults/ExternalServices.java
@@ -1,12 +1,12 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import elderseam.core.Clock;
-import elderseam.http.Call;
-import elderseam.http.Connections;
-import elderseam.http.Io;
-import elderseam.http.Lean;
-import elderseam.http.Server;
-import elderseam.http.UpstreamHost;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpRequest;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
+import elderseam.http.XnioStartup;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -20,7 +20,7 @@
 import java.util.stream.IntStream;
 
 /** All the outside of a fleet in one place: discovery, the place for notices, one partner that delivers, and a client. */
-final class Outside {
+final class ExternalServices {
     private static final long WATCH_NS = 1_000 * Clock.MS, PATIENCE_NS = 5_000 * Clock.MS;
     private static final String SETTINGS = """
             {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
@@ -30,26 +30,26 @@
              "extra":{"callSlots":20,"fades":"line"},"telemetry":{"fields":["x0","x1"]},
              "services":[{"name":"say","effect":"repeatable","giveUpNs":4000000000,"targetNs":1000000000,"windowNs":0}]}""";
 
-    private final Io io;
-    private final Server server;
-    private final Connections client;
+    private final IoLoop io;
+    private final HttpServer server;
+    private final EndpointConnectionPool client;
     private final AtomicLong delivered = new AtomicLong(),
             sent = new AtomicLong(),
             lists = new AtomicLong(),
             failed = new AtomicLong();
     private final int members;
-    private final List<Server> more = new ArrayList<>(); // the further endpoints of the first destination
+    private final List<HttpServer> more = new ArrayList<>(); // the further endpoints of the first destination
     private final AtomicLongArray calls; // at each endpoint of it
     private volatile boolean failing;
     private volatile int destinations = 1; // and the list's version, less one
 
     /** {@code members}: as the dispatchers are told; {@code endpoints}: of the first destination's partner. */
-    Outside(int members, int endpoints) throws IOException {
-        Lean.start();
+    ExternalServices(int members, int endpoints) throws IOException {
+        XnioStartup.start();
         this.members = members;
         this.calls = new AtomicLongArray(endpoints);
-        io = new Io(new Clock());
-        server = new Server(
+        io = new IoLoop(new Clock());
+        server = new HttpServer(
                 io,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 1 << 20,
@@ -57,10 +57,10 @@
                 1 << 20,
                 null,
                 this::answer);
-        client = new Connections(io, PATIENCE_NS, 64, 1 << 10);
+        client = new EndpointConnectionPool(io, PATIENCE_NS, 64, 1 << 10);
         for (int i = 1; i < endpoints; i++) {
             int number = i;
-            more.add(new Server(
+            more.add(new HttpServer(
                     io,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                     1 << 20,
@@ -113,7 +113,7 @@
         return lists.get();
     }
 
-    private void answer(Server.Request r, Server.Answerer to) {
+    private void answer(HttpServer.Request r, HttpServer.Answerer to) {
         if (r.path().startsWith("/registry")) {
             lists.incrementAndGet();
             io.at(io.clock.now() + WATCH_NS, () -> to.answer(200, Map.of(), list()));
@@ -124,7 +124,7 @@
         }
     }
 
-    private void partner(int endpoint, Server.Answerer to) {
+    private void partner(int endpoint, HttpServer.Answerer to) {
         calls.incrementAndGet(endpoint);
         if (failing) {
             failed.incrementAndGet();
@@ -162,8 +162,8 @@
         io.run(() -> {
             long by = io.clock.now() + PATIENCE_NS;
             client.send(
-                    new UpstreamHost("member", member),
-                    new Call(
+                    new EndpointAddress("member", member),
+                    new HttpRequest(
                             "POST",
                             "/say",
                             Map.of(
--- a/src/main/java/elderseam/fleet/rig/Fault.java
+++ b/src/main/java/elderseam/testkit/faults/FaultInjection.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.util.List;
 import java.util.Map;
@@ -7,7 +7,7 @@
  * One fault of a round: when, in milliseconds from the round's begin, and what befalls whom. Whom: a member's name, or a
  * role that is looked up when the fault comes (holder, leader, other: neither of these, all: only of crash).
  */
-record Fault(long atMs, String verb, List<String> words) {
+record FaultInjection(long atMs, String verb, List<String> words) {
     /** Each verb with the words that it takes: W for whom, N for milliseconds. */
     static final Map<String, String> VERBS = Map.ofEntries(
             Map.entry("isolate", "W"), // from all members and the store, both ways
@@ -26,7 +26,7 @@
     private static final String WHO = "holder|leader|other|n\\d{1,3}";
 
     /** Reads {@code VERB WORDS}; an IllegalArgumentException says what is wrong with it and what is allowed. */
-    static Fault parse(long atMs, String text) {
+    static FaultInjection parse(long atMs, String text) {
         List<String> all = List.of(text.strip().split("\\s+"));
         String form = VERBS.get(all.get(0));
         if (form == null) {
@@ -54,7 +54,7 @@
                             "whom (holder, leader, other, nK" + (all.get(0).equals("crash") ? ", all)" : ")");
                     });
         }
-        return new Fault(atMs, all.get(0), words);
+        return new FaultInjection(atMs, all.get(0), words);
     }
 
     private static boolean number(String text) {
--- a/src/main/java/elderseam/fleet/rig/FaultProxy.java
+++ b/src/main/java/elderseam/testkit/faults/FaultProxy.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -13,19 +13,19 @@
 
 /**
  * The address at which one party is reached by all others: each connection is led on to where that party listens, as far as
- * the {@link Network} lets it. Two threads a connection; a fleet of sixteen has some hundreds.
+ * the {@link LinkTable} lets it. Two threads a connection; a fleet of sixteen has some hundreds.
  */
 final class FaultProxy implements Closeable {
     private static final int CHUNK = 16 << 10;
 
-    private final Network network;
+    private final LinkTable network;
     private final String to;
     private final InetSocketAddress target;
     private final Supplier<Map<String, Long>> pids;
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    FaultProxy(Network network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
+    FaultProxy(LinkTable network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
             throws IOException {
         this.network = network;
         this.to = to;
--- a/src/main/java/elderseam/fleet/rig/Plan.java
+++ b/src/main/java/elderseam/testkit/faults/FaultSchedule.java
@@ -1,6 +1,6 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
-import elderseam.settings.Sections;
+import elderseam.settings.SectionFile;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -18,50 +18,50 @@
  *
  * @param clocks percent of true time that a member's clock shows, where it is not 100
  */
-record Plan(
+record FaultSchedule(
         int members,
         long ttlMs,
         int driftPercent,
         long electionMs,
         long roundMs,
         Map<String, Integer> clocks,
-        List<Fault> faults) {
+        List<FaultInjection> faults) {
     static final int MOST = 16;
 
     /** Leases under a nemesis, with one clock 5% fast. */
-    static Plan leases() {
-        return new Plan(3, 1_200, 5, 150, 2_000, Map.of("n1", 105), List.of());
+    static FaultSchedule leases() {
+        return new FaultSchedule(3, 1_200, 5, 150, 2_000, Map.of("n1", 105), List.of());
     }
 
     /** Versions under a nemesis; a round outlasts a commit that waits for who is cut off, its lead, and the bound. */
-    static Plan versions(int members) {
-        return new Plan(members, 1_200, 5, 150, 4_000, Map.of("n1", 105), List.of());
+    static FaultSchedule versions(int members) {
+        return new FaultSchedule(members, 1_200, 5, 150, 4_000, Map.of("n1", 105), List.of());
     }
 
     /** The same with so many members. */
-    Plan of(int members) {
-        return new Plan(members, ttlMs, driftPercent, electionMs, roundMs, clocks, faults);
+    FaultSchedule of(int members) {
+        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, roundMs, clocks, faults);
     }
 
     /** The same with rounds of another length. */
-    Plan lasting(long ms) {
-        return new Plan(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
+    FaultSchedule lasting(long ms) {
+        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
     }
 
     /** A lease on gossip alone, and a cut for longer than its suspicions last (4 s at three members). */
-    static Plan gossip() {
-        return new Plan(3, 1_200, 5, 150, 12_000, Map.of(), List.of(Fault.parse(500, "isolate n1")));
+    static FaultSchedule gossip() {
+        return new FaultSchedule(3, 1_200, 5, 150, 12_000, Map.of(), List.of(FaultInjection.parse(500, "isolate n1")));
     }
 
     /** A file of {@code [fleet NAME]} and {@code [fault NAME]}; every fault of it is told at once. */
-    static Plan read(Path file) throws IOException {
+    static FaultSchedule read(Path file) throws IOException {
         List<String> wrong = new ArrayList<>();
-        List<Sections.Section> all =
-                Sections.read(file.toString(), Files.readAllLines(file), List.of("fleet", "fault"), wrong);
-        Plan plan = leases();
-        List<Fault> faults = new ArrayList<>();
-        for (Sections.Section s : all) {
-            Sections.Section known = s;
+        List<SectionFile.Section> all =
+                SectionFile.read(file.toString(), Files.readAllLines(file), List.of("fleet", "fault"), wrong);
+        FaultSchedule plan = leases();
+        List<FaultInjection> faults = new ArrayList<>();
+        for (SectionFile.Section s : all) {
+            SectionFile.Section known = s;
             List<String> keys = s.kind().equals("fleet")
                     ? List.of("members", "ttl_ms", "drift_percent", "election_ms", "round_ms", "clocks")
                     : List.of("at_ms", "do");
@@ -71,7 +71,7 @@
                 }
             });
             if (s.kind().equals("fleet")) {
-                plan = new Plan(
+                plan = new FaultSchedule(
                         (int) number(s, "members", 2, MOST, plan.members, wrong),
                         number(s, "ttl_ms", 200, 60_000, plan.ttlMs, wrong),
                         (int) number(s, "drift_percent", 0, 40, plan.driftPercent, wrong),
@@ -81,7 +81,7 @@
                         List.of());
             } else if (s.kind().equals("fault")) {
                 try {
-                    faults.add(Fault.parse(number(s, "at_ms", 0, 60_000, 0, wrong), s.text("do", "")));
+                    faults.add(FaultInjection.parse(number(s, "at_ms", 0, 60_000, 0, wrong), s.text("do", "")));
                 } catch (IllegalArgumentException e) {
                     wrong.add(s.place() + e.getMessage());
                 }
@@ -93,25 +93,26 @@
         if (!wrong.isEmpty()) {
             throw new SettingsFault(wrong);
         }
-        faults.sort(Comparator.comparingLong(Fault::atMs));
+        faults.sort(Comparator.comparingLong(FaultInjection::atMs));
         return plan.with(faults);
     }
 
-    private Plan with(List<Fault> faults) {
-        return new Plan(members, ttlMs, driftPercent, electionMs, roundMs, clocks, List.copyOf(faults));
+    private FaultSchedule with(List<FaultInjection> faults) {
+        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, roundMs, clocks, List.copyOf(faults));
     }
 
     /** The same without a margin for clocks, which run 10% apart from true time both ways: the planted fault of the lease's checker. */
-    Plan withoutMargin() {
+    FaultSchedule withoutMargin() {
         Map<String, Integer> bent = new LinkedHashMap<>();
         for (int i = 1; i <= members; i++) {
             bent.put("n" + i, i == 1 ? 80 : 120);
         }
-        return new Plan(members, ttlMs, 0, electionMs, roundMs, bent, faults);
+        return new FaultSchedule(members, ttlMs, 0, electionMs, roundMs, bent, faults);
     }
 
-    private static long number(Sections.Section s, String key, long least, long most, long absent, List<String> wrong) {
-        Sections.Value v = s.value(key);
+    private static long number(
+            SectionFile.Section s, String key, long least, long most, long absent, List<String> wrong) {
+        SectionFile.Value v = s.value(key);
         if (v == null) {
             return absent;
         }
@@ -122,7 +123,7 @@
         return Long.parseLong(v.text());
     }
 
-    private static Map<String, Integer> clocks(Sections.Section s, List<String> wrong) {
+    private static Map<String, Integer> clocks(SectionFile.Section s, List<String> wrong) {
         Map<String, Integer> clocks = new LinkedHashMap<>();
         for (String word : Arrays.stream(s.text("clocks", "").split("\\s+"))
                 .filter(w -> !w.isEmpty())
--- a/src/main/java/elderseam/fleet/rig/Store.java
+++ b/src/main/java/elderseam/testkit/faults/FencedStore.java
@@ -1,9 +1,9 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.fleet.History;
-import elderseam.fleet.lease.Fence;
+import elderseam.fleet.lease.FencingTokenCheck;
+import elderseam.fleet.selftest.FaultTestHistory;
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
@@ -20,19 +20,19 @@
  * The stand-in resource that holders of leases act on: a line of JSON each act, admitted or fenced off by its token. One act
  * takes effect at a time, and the history has each at the instant it did.
  */
-final class Store implements Closeable {
+final class FencedStore implements Closeable {
     /** An act as it was told: of which lease, by which token and holder, and whether it took effect. */
     record Effect(String lease, String holder, long token, boolean admitted) {}
 
     private final ObjectMapper json = new ObjectMapper();
-    private final Fence fence = new Fence();
-    private final History history;
+    private final FencingTokenCheck fence = new FencingTokenCheck();
+    private final FaultTestHistory history;
     private final boolean fenced;
     private final Consumer<Effect> watch;
     private final ServerSocket server;
 
     /** {@code fenced} false: the planted fault, which admits whatever comes. */
-    Store(History history, boolean fenced, Consumer<Effect> watch) throws IOException {
+    FencedStore(FaultTestHistory history, boolean fenced, Consumer<Effect> watch) throws IOException {
         this.history = history;
         this.fenced = fenced;
         this.watch = watch;
--- a/src/main/java/elderseam/fleet/rig/FleetFigures.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -1,7 +1,7 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import elderseam.fleet.lease.LeaseGroup;
-import elderseam.fleet.lease.LeaseMachine;
+import elderseam.fleet.lease.LeaseStateMachine;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,28 +17,29 @@
  * What the fleet's part costs and saves, off and on in one run: the same processes with the same stand-ins, first without
  * and then with the leases and the one watch of discovery.
  */
-public final class FleetFigures {
+public final class FleetMeasurements {
     private static final int SPAN_S = 10;
 
-    private FleetFigures() {}
+    private FleetMeasurements() {}
 
     /** Figures by name; times in milliseconds, memory in kB of each process, calls a second over all of them. */
     public static Map<String, Object> measure(int members, Path folder) throws IOException {
         Map<String, Object> f = new LinkedHashMap<>();
-        Plan leases = Plan.leases();
-        Plan plan = new Plan(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
+        FaultSchedule leases = FaultSchedule.leases();
+        FaultSchedule plan = new FaultSchedule(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
         f.put("members", members);
-        processes(f, "off", new Cluster(plan, folder.resolve("off"), Cluster.Setup.OFF));
+        processes(f, "off", new ProcessCluster(plan, folder.resolve("off"), ProcessCluster.Setup.OFF));
         processes(
                 f,
                 "on",
-                new Cluster(plan, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", false, true)));
+                new ProcessCluster(
+                        plan, folder.resolve("on"), new ProcessCluster.Setup(true, "discovery = one\n", false, true)));
         operations(f, members, folder.resolve("group"));
         return f;
     }
 
-    private static void processes(Map<String, Object> f, String word, Cluster cluster) throws IOException {
-        try (Cluster c = cluster) {
+    private static void processes(Map<String, Object> f, String word, ProcessCluster cluster) throws IOException {
+        try (ProcessCluster c = cluster) {
             if (word.equals("on")) {
                 c.say(
                         "fleet: ",
@@ -47,7 +48,7 @@
                         System.nanoTime() + 30_000_000_000L);
             }
             long lists = c.outside().lists(), cpu = cpu(c);
-            Cluster.pause(SPAN_S * 1_000L); // the span that is measured
+            ProcessCluster.pause(SPAN_S * 1_000L); // the span that is measured
             f.put("discovery_calls_per_s_" + word, (double) (c.outside().lists() - lists) / SPAN_S);
             f.put(
                     "idle_cpu_percent_" + word,
@@ -56,7 +57,7 @@
                     memory = new Histogram(64_000_000L, 3),
                     threads = new Histogram(10_000L, 3);
             for (String name : c.group()) {
-                Member m = c.member(name);
+                ClusterMember m = c.member(name);
                 ready.recordValue(m.startMs());
                 memory.recordValue(m.status("VmRSS"));
                 threads.recordValue(m.status("Threads"));
@@ -68,7 +69,7 @@
     }
 
     /** Hundredths of a second of processor time that the members have used. */
-    private static long cpu(Cluster c) throws IOException {
+    private static long cpu(ProcessCluster c) throws IOException {
         long all = 0;
         for (String name : c.group()) {
             all += c.member(name).ticks();
@@ -99,7 +100,7 @@
                                 500,
                                 "1",
                                 System::nanoTime,
-                                new LeaseMachine.Watch() {},
+                                new LeaseStateMachine.Watch() {},
                                 LeaseGroup.SNAPSHOT_EVERY)));
             }
             LeaseGroup asking = group.values().iterator().next();
--- a/src/main/java/elderseam/fleet/rig/GossipPlaces.java
+++ b/src/main/java/elderseam/testkit/faults/GossipAddresses.java
@@ -1,6 +1,6 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
-import elderseam.gossip.trust.KeyFile;
+import elderseam.gossip.security.KeyFile;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,12 +13,12 @@
 import java.util.function.Supplier;
 
 /** Where a cluster's members gossip: each one's key, its line of the roster, and what stands before it for connections and datagrams. */
-final class GossipPlaces implements Closeable {
+final class GossipAddresses implements Closeable {
     private static final int PORT = 9_500;
 
     private record Place(int number, String line, FaultProxy connections, DatagramProxy datagrams) {}
 
-    private final Network network;
+    private final LinkTable network;
     private final Path folder;
     private final String place;
     private final Supplier<Map<String, Long>> pids;
@@ -27,7 +27,7 @@
             new ConcurrentHashMap<>(); // of datagrams: where each speaks from
 
     /** {@code folder}: the cluster's; {@code place}: the loopback address on which members listen. */
-    GossipPlaces(Network network, Path folder, String place, Supplier<Map<String, Long>> pids) {
+    GossipAddresses(LinkTable network, Path folder, String place, Supplier<Map<String, Long>> pids) {
         this.network = network;
         this.folder = folder;
         this.place = place;
@@ -67,7 +67,7 @@
                 " ",
                 places.values().stream()
                         .filter(p -> p != own)
-                        .map(GossipPlaces::address)
+                        .map(GossipAddresses::address)
                         .toList());
         return "[gossip]\nlisten = " + place + ":" + (PORT + own.number) + "\nadvertise = " + address(own) + "\nname = "
                 + name + "\nkey_file = " + folder.resolve(name).resolve("key") + "\nroster = "
--- a/src/main/java/elderseam/fleet/rig/Checkers.java
+++ b/src/main/java/elderseam/testkit/faults/HistoryCheckers.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -17,20 +17,20 @@
  * What must hold of a history. They read its lines and nothing else: none shares code with what it judges, and each names
  * the instants at which the rule broke.
  */
-final class Checkers {
+final class HistoryCheckers {
     /** How long one holder believed to hold by one token, of the machine's clock. */
     private record Belief(String holder, long from, long until) {}
 
     private final List<JsonNode> lines;
 
     /** Lines in the order of their instants. */
-    Checkers(List<JsonNode> lines) {
+    HistoryCheckers(List<JsonNode> lines) {
         this.lines = lines.stream()
                 .sorted(Comparator.comparingLong(l -> l.get("at_ns").asLong()))
                 .toList();
     }
 
-    static Checkers read(List<Path> files) throws IOException {
+    static HistoryCheckers read(List<Path> files) throws IOException {
         ObjectMapper json = new ObjectMapper();
         List<JsonNode> all = new ArrayList<>();
         for (Path file : files) {
@@ -42,7 +42,7 @@
                 }
             }
         }
-        return new Checkers(all);
+        return new HistoryCheckers(all);
     }
 
     List<String> all(long livenessMs) {
--- a/src/main/java/elderseam/fleet/rig/FleetRun.java
+++ b/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -12,7 +12,7 @@
 import org.HdrHistogram.Histogram;
 
 /** A fleet test: rounds of faults against one cluster, and the checkers' word on its whole history. */
-public final class FleetRun {
+public final class LeaseTestRun {
     /** The faults that can be planted, each to be caught by one checker. */
     public static final List<String> PLANTS =
             List.of("no-margin", "no-fence", "no-heal", "gossip", "gossip-majority", "no-confirm", "at-commit");
@@ -40,35 +40,37 @@
 
     static final long LIVENESS_MS = 20_000; // after a heal: two terms, some elections, and a loaded machine's pace
 
-    private FleetRun() {}
+    private LeaseTestRun() {}
 
     /** The faults of each round, in words; the same for one seed. */
     public static List<String> schedule(Terms t) throws IOException {
-        Plan plan = plan(t);
+        FaultSchedule plan = plan(t);
         List<String> all = new ArrayList<>();
         for (int n = 0; n < t.rounds(); n++) {
             all.add(n + ": "
                     + String.join(
                             ", ",
-                            faults(plan, t, n).stream().map(Fault::toString).toList()));
+                            faults(plan, t, n).stream()
+                                    .map(FaultInjection::toString)
+                                    .toList()));
         }
         return all;
     }
 
-    private static Plan plan(Terms t) throws IOException {
+    private static FaultSchedule plan(Terms t) throws IOException {
         if (onGossip(t)) {
-            return Plan.gossip();
+            return FaultSchedule.gossip();
         }
-        Plan plan = onVersions(t)
-                ? Plan.versions("at-commit".equals(t.plant()) ? 5 : 3)
-                : t.scenario().equals("leases") ? Plan.leases() : Plan.read(Path.of(t.scenario()));
+        FaultSchedule plan = onVersions(t)
+                ? FaultSchedule.versions("at-commit".equals(t.plant()) ? 5 : 3)
+                : t.scenario().equals("leases") ? FaultSchedule.leases() : FaultSchedule.read(Path.of(t.scenario()));
         plan = t.members() == 0 ? plan : plan.of(t.members());
         return "no-margin".equals(t.plant()) ? plan.withoutMargin() : plan;
     }
 
-    private static List<Fault> faults(Plan plan, Terms t, int n) {
+    private static List<FaultInjection> faults(FaultSchedule plan, Terms t, int n) {
         return onVersions(t)
-                ? VersionRun.faults(plan, t, n)
+                ? VersionTestRun.faults(plan, t, n)
                 : plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
     }
 
@@ -77,26 +79,26 @@
         return run(plan(t), t, tell);
     }
 
-    static Result run(Plan plan, Terms t, Consumer<String> tell) throws IOException {
+    static Result run(FaultSchedule plan, Terms t, Consumer<String> tell) throws IOException {
         Files.createDirectories(t.folder());
         long began = System.nanoTime();
         if (onVersions(t)) {
-            return VersionRun.run(plan, t, tell);
+            return VersionTestRun.run(plan, t, tell);
         }
         if (onGossip(t)) {
             return gossip(plan, t, t.plant().equals("gossip") ? "lowest" : "majority", tell);
         }
-        try (Cluster c =
-                new Cluster(plan, t.folder(), new Cluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
+        try (ProcessCluster c = new ProcessCluster(
+                plan, t.folder(), new ProcessCluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
             c.history().add("healed"); // the first holder is owed as one after a heal is
             c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
             for (int n = 0; n < t.rounds(); n++) {
-                List<Fault> faults = faults(plan, t, n);
+                List<FaultInjection> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
                 round(c, plan, faults, !"no-heal".equals(t.plant()));
             }
             c.history().add("end");
-            Checkers checkers = Checkers.read(c.histories());
+            HistoryCheckers checkers = HistoryCheckers.read(c.histories());
             Result result = new Result(checkers.all(LIVENESS_MS), figures(checkers, t, began));
             result.violations().forEach(tell);
             return result;
@@ -104,7 +106,7 @@
     }
 
     private static boolean onVersions(Terms t) {
-        return t.scenario().equals(VERSIONS) || t.plant() != null && VersionRun.PLANTS.contains(t.plant());
+        return t.scenario().equals(VERSIONS) || t.plant() != null && VersionTestRun.PLANTS.contains(t.plant());
     }
 
     private static boolean onGossip(Terms t) {
@@ -112,9 +114,9 @@
     }
 
     /** Rounds with a lease on gossip alone, held by {@code rule}; nothing acts on it, and lease safety alone is checked. */
-    static Result gossip(Plan plan, Terms t, String rule, Consumer<String> tell) throws IOException {
+    static Result gossip(FaultSchedule plan, Terms t, String rule, Consumer<String> tell) throws IOException {
         long began = System.nanoTime();
-        try (Cluster c = new Cluster(plan, t.folder(), Cluster.Setup.gossip(rule))) {
+        try (ProcessCluster c = new ProcessCluster(plan, t.folder(), ProcessCluster.Setup.gossip(rule))) {
             for (int n = 0; n < t.rounds(); n++) {
                 tell.accept("round " + n + ": " + plan.faults());
                 if (!c.granted("n1", System.nanoTime() + LIVENESS_MS * 1_000_000)) {
@@ -123,40 +125,41 @@
                 play(c, plan, plan.faults());
                 c.heal(true);
             }
-            Checkers checkers = Checkers.read(c.histories());
+            HistoryCheckers checkers = HistoryCheckers.read(c.histories());
             Result result = new Result(checkers.leaseSafety(), figures(checkers, t, began));
             result.violations().forEach(tell);
             return result;
         }
     }
 
-    static void play(Cluster c, Plan plan, List<Fault> faults) throws IOException {
+    static void play(ProcessCluster c, FaultSchedule plan, List<FaultInjection> faults) throws IOException {
         long began = System.nanoTime(), ends = began + plan.roundMs() * 1_000_000;
-        for (Fault f : faults) {
+        for (FaultInjection f : faults) {
             until(c, began + f.atMs() * 1_000_000);
             c.befall(f);
         }
         until(c, ends);
     }
 
-    private static void round(Cluster c, Plan plan, List<Fault> faults, boolean heals) throws IOException {
+    private static void round(ProcessCluster c, FaultSchedule plan, List<FaultInjection> faults, boolean heals)
+            throws IOException {
         play(c, plan, faults);
         c.heal(heals);
         c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000); // none in time is the liveness checker's to tell
     }
 
     /** Waits, and lets stalled members go at their times. */
-    private static void until(Cluster c, long atNs) throws IOException {
+    private static void until(ProcessCluster c, long atNs) throws IOException {
         while (true) {
             long now = System.nanoTime(), next = Math.min(atNs, c.resume(now));
             if (now >= atNs) {
                 return;
             }
-            Cluster.pause((next - now) / 1_000_000 + 1);
+            ProcessCluster.pause((next - now) / 1_000_000 + 1);
         }
     }
 
-    private static Map<String, Object> figures(Checkers checkers, Terms t, long began) {
+    private static Map<String, Object> figures(HistoryCheckers checkers, Terms t, long began) {
         Map<String, Object> f = new LinkedHashMap<>();
         f.put("rounds", t.rounds());
         f.put("seed", t.seed());
--- a/src/main/java/elderseam/fleet/rig/Network.java
+++ b/src/main/java/elderseam/testkit/faults/LinkTable.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.util.HashSet;
 import java.util.Set;
@@ -9,7 +9,7 @@
  * what is sent on it, as a network does that drops packets under a connection: it arrives once the link is healed, unless
  * an end has given the connection up.
  */
-final class Network {
+final class LinkTable {
     private record Link(String from, String to) {}
 
     private final Set<Link> cut = new HashSet<>();
--- a/src/main/java/elderseam/fleet/rig/Nemesis.java
+++ b/src/main/java/elderseam/testkit/faults/Nemesis.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -13,14 +13,14 @@
     private Nemesis() {}
 
     /** Round {@code n} of {@code seed}: one to three faults, spread over {@code ttlMs}, in the order of their times. */
-    static List<Fault> round(long seed, int n, long ttlMs) {
+    static List<FaultInjection> round(long seed, int n, long ttlMs) {
         SplittableRandom random = new SplittableRandom(seed * 1_000_003 + n);
-        List<Fault> faults = new ArrayList<>();
+        List<FaultInjection> faults = new ArrayList<>();
         int count = 1 + random.nextInt(3);
         for (int i = 0; i < count; i++) {
-            faults.add(Fault.parse(random.nextLong(ttlMs), one(random, ttlMs)));
+            faults.add(FaultInjection.parse(random.nextLong(ttlMs), one(random, ttlMs)));
         }
-        faults.sort(Comparator.comparingLong(Fault::atMs));
+        faults.sort(Comparator.comparingLong(FaultInjection::atMs));
         return faults;
     }
 
--- a/src/main/java/elderseam/fleet/rig/Cluster.java
+++ b/src/main/java/elderseam/testkit/faults/ProcessCluster.java
@@ -1,6 +1,6 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
-import elderseam.fleet.History;
+import elderseam.fleet.selftest.FaultTestHistory;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,7 +17,7 @@
 import java.util.function.UnaryOperator;
 
 /** The processes of one test with the stand-ins round them, and what can be done to them. One thread uses it. */
-final class Cluster implements Closeable {
+final class ProcessCluster implements Closeable {
     static final String LEASE = "rehearsal", STORE = "store";
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
     private static final int PORT = 9_000;
@@ -43,23 +43,23 @@
         }
     }
 
-    private final Plan plan;
+    private final FaultSchedule plan;
     private final Path folder;
     private final Setup setup;
-    private final Network network = new Network();
-    private final Outside outside;
-    private final Store store;
-    private final History history;
+    private final LinkTable network = new LinkTable();
+    private final ExternalServices outside;
+    private final FencedStore store;
+    private final FaultTestHistory history;
     private final FaultProxy toStore;
     private final String place; // a loopback address of this cluster's own: no port of it is another's
-    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, ClusterMember> members = new LinkedHashMap<>();
     private final Map<String, FaultProxy> proxies = new LinkedHashMap<>();
-    private final GossipPlaces gossips;
+    private final GossipAddresses gossips;
     private final Map<String, Long> pids = new ConcurrentHashMap<>();
     private final Map<String, Long> stalled = new LinkedHashMap<>(); // until when, of the machine's clock
     private final List<String> group = new ArrayList<>(); // who is in the lease group
     private volatile String leader = "", holder = "";
-    private volatile Store.Effect newest;
+    private volatile FencedStore.Effect newest;
     private final Object saying = new Object();
     private final Map<String, List<String>> last = new LinkedHashMap<>(); // what each has said, under saying
     private int named;
@@ -67,22 +67,22 @@
     private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
 
     /** Starts the members and waits until each is ready. */
-    Cluster(Plan plan, Path folder, Setup setup) throws IOException {
+    ProcessCluster(FaultSchedule plan, Path folder, Setup setup) throws IOException {
         this(plan, folder, setup, 1);
     }
 
     /** {@code endpoints}: how many the partner of the first destination has. */
-    Cluster(Plan plan, Path folder, Setup setup, int endpoints) throws IOException {
-        this.outside = new Outside(plan.members(), endpoints);
+    ProcessCluster(FaultSchedule plan, Path folder, Setup setup, int endpoints) throws IOException {
+        this.outside = new ExternalServices(plan.members(), endpoints);
         this.plan = plan;
         this.folder = Files.createDirectories(folder);
         this.setup = setup;
         int n = CLUSTERS.getAndIncrement();
         long pid = ProcessHandle.current().pid();
         place = "127." + (100 + n % 100) + "." + pid / 250 % 250 + "." + (1 + pid % 250);
-        gossips = new GossipPlaces(network, folder, place, () -> pids);
-        history = new History(folder.resolve("rig.jsonl"), "rig");
-        store = new Store(history, setup.fenced(), this::effect);
+        gossips = new GossipAddresses(network, folder, place, () -> pids);
+        history = new FaultTestHistory(folder.resolve("rig.jsonl"), "rig");
+        store = new FencedStore(history, setup.fenced(), this::effect);
         toStore = new FaultProxy(network, STORE, store.address(), () -> pids);
         Runtime.getRuntime().addShutdownHook(ends); // an interrupted test leaves no process behind
         try {
@@ -101,16 +101,16 @@
         if (!setup.gossip().isEmpty()) {
             gossips.roster();
         }
-        for (Member m : members.values()) {
+        for (ClusterMember m : members.values()) {
             configure(m.name);
             start(m);
         }
-        for (Member m : members.values()) {
+        for (ClusterMember m : members.values()) {
             m.ready();
         }
     }
 
-    private void effect(Store.Effect e) {
+    private void effect(FencedStore.Effect e) {
         synchronized (store) {
             if (e.admitted()) {
                 newest = e;
@@ -121,7 +121,7 @@
     }
 
     /** A further member, which is not started yet. */
-    private Member prepare() throws IOException {
+    private ClusterMember prepare() throws IOException {
         String name = "n" + ++named;
         Path own = Files.createDirectories(folder.resolve(name));
         Files.createDirectories(own.resolve("state"));
@@ -130,7 +130,7 @@
         if (!setup.gossip().isEmpty()) {
             gossips.add(name, named);
         }
-        Member m = new Member(
+        ClusterMember m = new ClusterMember(
                 name,
                 own,
                 Map.of(
@@ -204,7 +204,7 @@
                 + "\ngossip_lease = " + setup.gossip() + "\n" + setup.lines().apply(name);
     }
 
-    private void start(Member m) throws IOException {
+    private void start(ClusterMember m) throws IOException {
         started.add(m.start());
         pids.put(m.name, m.pid());
         history.add("started", "member", m.name, "pid", m.pid());
@@ -229,7 +229,7 @@
         return members.containsKey(name) ? name : group.get(0);
     }
 
-    void befall(Fault f) throws IOException {
+    void befall(FaultInjection f) throws IOException {
         List<String> whom = f.words().stream()
                 .filter(w -> !w.matches("\\d+|all"))
                 .map(this::who)
@@ -273,7 +273,7 @@
                 }
             }
             case "end" -> {
-                Member m = members.get(whom.get(0));
+                ClusterMember m = members.get(whom.get(0));
                 if (m.alive()) {
                     if (stalled.remove(m.name) != null) {
                         m.resume(); // a stopped process hears no SIGTERM, and its end would be waited for without end
@@ -303,7 +303,7 @@
     }
 
     private void kill(String name) throws IOException {
-        Member m = members.get(name);
+        ClusterMember m = members.get(name);
         if (m.alive()) {
             stalled.remove(name);
             m.kill();
@@ -312,26 +312,26 @@
     }
 
     private void restart() throws IOException {
-        List<Member> back =
+        List<ClusterMember> back =
                 group.stream().map(members::get).filter(m -> !m.alive()).toList();
-        for (Member m : back) {
+        for (ClusterMember m : back) {
             start(m);
         }
-        for (Member m : back) {
+        for (ClusterMember m : back) {
             m.ready();
         }
     }
 
     /** Takes a new member in for one, at a member that lives, and kills the old one once the group has agreed. */
     void replace(String old) throws IOException {
-        Member fresh = prepare();
+        ClusterMember fresh = prepare();
         configure(fresh.name); // the group as it stands, without itself: it joins
         start(fresh);
         fresh.ready();
         List<String> wanted = new ArrayList<>(group);
         wanted.remove(old);
         wanted.add(fresh.name);
-        Member through = members.get(wanted.get(0));
+        ClusterMember through = members.get(wanted.get(0));
         String call = "FLEET "
                 + String.join(
                         " ", wanted.stream().map(g -> g + "=" + address(g)).toList());
@@ -377,7 +377,7 @@
     /** Waits until an act takes effect that came after this call; false where none does by {@code byNs}. */
     boolean acted(long byNs) throws IOException {
         synchronized (store) {
-            Store.Effect before = newest;
+            FencedStore.Effect before = newest;
             while (newest == before) {
                 long left = (byNs - System.nanoTime()) / 1_000_000;
                 if (left <= 0) {
@@ -458,11 +458,11 @@
         }
     }
 
-    History history() {
+    FaultTestHistory history() {
         return history;
     }
 
-    Outside outside() {
+    ExternalServices outside() {
         return outside;
     }
 
@@ -470,7 +470,7 @@
         return List.copyOf(group);
     }
 
-    Member member(String name) {
+    ClusterMember member(String name) {
         return members.get(name);
     }
 
@@ -488,7 +488,7 @@
         } catch (IllegalStateException e) {
             // the process ends already, and the hook runs
         }
-        for (Member m : members.values()) {
+        for (ClusterMember m : members.values()) {
             if (m.alive()) {
                 m.kill();
             }
--- a/src/main/java/elderseam/fleet/rig/SocketOwner.java
+++ b/src/main/java/elderseam/testkit/faults/SocketOwner.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.IOException;
 import java.nio.file.DirectoryStream;
--- a/src/main/java/elderseam/fleet/rig/Proposals.java
+++ b/src/main/java/elderseam/testkit/faults/VersionProposals.java
@@ -1,6 +1,6 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionContent;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -8,11 +8,11 @@
 import java.util.TreeSet;
 
 /** Versions as an operator proposes them to the members of a cluster, by their second addresses. */
-final class Proposals {
-    private Proposals() {}
+final class VersionProposals {
+    private VersionProposals() {}
 
     /** A value of what a member answers to CONFIG; "" where it says nothing of that. */
-    static String value(Cluster c, String member, String name) throws IOException {
+    static String value(ProcessCluster c, String member, String name) throws IOException {
         return value(c.member(member).told("CONFIG"), name);
     }
 
@@ -25,7 +25,7 @@
     }
 
     /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
-    static String propose(Cluster c, String name, Path file, String note) throws IOException {
+    static String propose(ProcessCluster c, String name, Path file, String note) throws IOException {
         if (!c.member(name).alive()) {
             return "";
         }
@@ -34,13 +34,14 @@
                 ? ""
                 : c.member(name)
                         .told("CONFIG PROPOSE " + latest + " "
-                                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
+                                + ConfigurationVersion.hash(VersionContent.read(file))
+                                        .substring(0, 12) + " " + file + " " + note);
         c.history().add("propose", "at", name, "answer", answer.strip());
         return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
     }
 
     /** Waits until all living members act on one version that is the latest, none in doubt and nothing pending; its hash, or an error after {@code byNs}. */
-    static String agreed(Cluster c, long byNs) throws IOException {
+    static String agreed(ProcessCluster c, long byNs) throws IOException {
         while (true) {
             Set<String> acting = new TreeSet<>();
             boolean sure = true;
@@ -59,7 +60,7 @@
             if (System.nanoTime() > byNs) {
                 throw new IOException("the members do not agree on a version: " + acting);
             }
-            Cluster.pause(20); // members are asked; they tell nothing unasked
+            ProcessCluster.pause(20); // members are asked; they tell nothing unasked
         }
     }
 }
--- a/src/main/java/elderseam/fleet/rig/VersionRun.java
+++ b/src/main/java/elderseam/testkit/faults/VersionTestRun.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -14,7 +14,7 @@
  * A fleet test of versions: in each round a new one is proposed at one member while faults befall the processes and their links,
  * and after the heal all have to act on the latest. The checker of agreement reads who acted on what, and until when.
  */
-final class VersionRun {
+final class VersionTestRun {
     static final long BOUND_MS = 1_000, LIVENESS_MS = 30_000;
     /** What is allowed beside T: an answer's way, the drift of clocks over T, and a timer of 20 ms that comes late on a loaded machine. */
     static final long CLOCK_MS = 250;
@@ -27,11 +27,11 @@
             LONG_MS = 8_000; // the longer one outlasts an election before the commit
     static final List<String> PLANTS = List.of("no-confirm", "at-commit");
 
-    private VersionRun() {}
+    private VersionTestRun() {}
 
     /** {@code plant}: one of {@link #PLANTS}, or null. */
-    static Cluster.Setup setup(String plant) {
-        return new Cluster.Setup(
+    static ProcessCluster.Setup setup(String plant) {
+        return new ProcessCluster.Setup(
                 true,
                 name -> "versions_bound_ms = " + BOUND_MS + "\n[rehearsal]\nversions = "
                         + (plant == null ? "right" : plant) + "\n",
@@ -40,19 +40,19 @@
                 "");
     }
 
-    static FleetRun.Result run(Plan plan, FleetRun.Terms t, Consumer<String> tell) throws IOException {
+    static LeaseTestRun.Result run(FaultSchedule plan, LeaseTestRun.Terms t, Consumer<String> tell) throws IOException {
         long began = System.nanoTime();
         Histogram effect = new Histogram(120_000L, 3);
         int refused = 0;
-        try (Cluster c = new Cluster(plan, t.folder(), setup(t.plant()))) {
-            Proposals.agreed(
+        try (ProcessCluster c = new ProcessCluster(plan, t.folder(), setup(t.plant()))) {
+            VersionProposals.agreed(
                     c, System.nanoTime() + LIVENESS_MS * 1_000_000); // the group has a leader, and all have confirmed
             for (int n = 0; n < t.rounds(); n++) {
-                List<Fault> faults = faults(plan, t, n);
+                List<FaultInjection> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
                 String led = c.leader();
                 c.history().add("round");
-                Plan lasts = faults.isEmpty()
+                FaultSchedule lasts = faults.isEmpty()
                         ? plan.lasting(QUIET_MS)
                         : "no-confirm".equals(t.plant()) ? plan.lasting(LONG_MS) : plan;
                 refused += round(c, lasts, n, faults) ? 0 : 1;
@@ -61,7 +61,7 @@
                 }
             }
             c.history().add("end");
-            Checkers checkers = Checkers.read(c.histories());
+            HistoryCheckers checkers = HistoryCheckers.read(c.histories());
             checkers.effects().forEach(ms -> effect.recordValue(Math.min(120_000, ms)));
             List<String> found = new ArrayList<>(checkers.agreement(BOUND_MS + CLOCK_MS, STEP_MS));
             found.addAll(checkers.leaseSafety());
@@ -79,34 +79,35 @@
             f.put("longest_while_one_led_ms", checkers.longestDisagreementMs(true));
             f.put("effect_ms_p50", effect.getValueAtPercentile(50));
             f.put("effect_ms_p99", effect.getValueAtPercentile(99));
-            return new FleetRun.Result(found, f);
+            return new LeaseTestRun.Result(found, f);
         }
     }
 
     /** Every fourth round is quiet; a planted fault gets the rounds that show it. */
-    static List<Fault> faults(Plan plan, FleetRun.Terms t, int n) {
+    static List<FaultInjection> faults(FaultSchedule plan, LeaseTestRun.Terms t, int n) {
         if ("at-commit".equals(t.plant())) { // one is late with its check, another is cut off once it has made its own
-            return List.of(Fault.parse(0, "stall n5 900"), Fault.parse(850, "isolate n4"));
+            return List.of(FaultInjection.parse(0, "stall n5 900"), FaultInjection.parse(850, "isolate n4"));
         } else if (t.plant() == null && n % QUIET_EVERY == QUIET_EVERY - 1) {
             return List.of();
         } else if ("no-confirm".equals(t.plant())) {
-            return List.of(Fault.parse(200, "isolate n1"));
+            return List.of(FaultInjection.parse(200, "isolate n1"));
         }
         return plan.faults().isEmpty() ? Nemesis.round(t.seed(), n, plan.ttlMs()) : plan.faults();
     }
 
     /** Whether its proposal was committed; after the heal all act on the latest, whatever became of it. */
-    private static boolean round(Cluster c, Plan plan, int n, List<Fault> faults) throws IOException {
+    private static boolean round(ProcessCluster c, FaultSchedule plan, int n, List<FaultInjection> faults)
+            throws IOException {
         Path file = write(c, n);
         String at = c.group().get(1 + n % 2);
-        String hash = Proposals.propose(c, at, file, "round " + n);
-        FleetRun.play(c, plan, faults);
+        String hash = VersionProposals.propose(c, at, file, "round " + n);
+        LeaseTestRun.play(c, plan, faults);
         c.heal(true);
-        return hash.equals(Proposals.agreed(c, System.nanoTime() + LIVENESS_MS * 1_000_000));
+        return hash.equals(VersionProposals.agreed(c, System.nanoTime() + LIVENESS_MS * 1_000_000));
     }
 
     /** A version of rules that differ from round to round. */
-    static Path write(Cluster c, int n) throws IOException {
+    static Path write(ProcessCluster c, int n) throws IOException {
         Path folder = Files.createDirectories(c.folder().resolve("proposals").resolve(Integer.toString(n)));
         Files.writeString(
                 folder.resolve("round.rules"),
--- a/src/main/java/elderseam/gossip/trial/Partner.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDestination.java
@@ -1,6 +1,6 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.module.Sender;
+import elderseam.policy.Sender;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -8,7 +8,7 @@
  * A destination as all dispatchers meet it: so many calls a second, outages, and a cold return, in which it stands a share of
  * its calls at first; who pushes it over the multiple of what it stands, for a second and by more than chance, fells it anew.
  */
-final class Partner {
+final class SimulatedDestination {
     private static final long MS = 1_000_000, S = 1_000 * MS;
     private static final double CHANCE = 8; // calls at once that say nothing: they come at random
     private static final double SPORADIC = 0.01, SICK = 0.2; // calls that fail without an outage
@@ -39,7 +39,7 @@
     private Outage last;
     int felled, calls, callsWhileDown;
 
-    Partner(long id, double perS, List<Outage> outages, long seed) {
+    SimulatedDestination(long id, double perS, List<Outage> outages, long seed) {
         this.id = id;
         this.perS = perS;
         this.outages = outages;
--- a/src/main/java/elderseam/gossip/trial/Dispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -1,11 +1,11 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.emulator.Policies;
-import elderseam.emulator.VirtualTime;
-import elderseam.gossip.Agent;
-import elderseam.gossip.Claim;
-import elderseam.module.Brain;
-import elderseam.module.Sender;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.HealthReport;
+import elderseam.policy.DispatchPolicy;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.Policies;
+import elderseam.testkit.emulator.VirtualTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,7 +17,7 @@
  * against the rules as it does it: one copy out, no second try of a once-only message that may have run, no call in a told
  * wait, no more calls than slots.
  */
-final class Dispatcher implements Sender.Actions, Fleet.Dispatching {
+final class SimulatedDispatcher implements Sender.Actions, SimulatedFleet.Dispatching {
     private static final long MS = 1_000_000, S = 1_000 * MS;
     private static final List<Sender.MessageClass> CLASSES = Policies.CLASSES;
 
@@ -49,8 +49,8 @@
     }
 
     private final VirtualTime time;
-    private final Map<Long, Partner> partners;
-    private final Brain brain;
+    private final Map<Long, SimulatedDestination> partners;
+    private final DispatchPolicy brain;
     private final SplittableRandom random;
     private final Map<Long, Double> shares = new HashMap<>(); // calls a second that its clients want of a partner
     private final double all;
@@ -63,10 +63,10 @@
     private double worth, possible;
     private long until;
 
-    Dispatcher(
+    SimulatedDispatcher(
             String name,
             VirtualTime time,
-            Map<Long, Partner> partners,
+            Map<Long, SimulatedDestination> partners,
             int senders,
             Map<Long, Double> shares,
             SplittableRandom random) {
@@ -94,14 +94,14 @@
                 Sender.Rates.EXACT,
                 2 * S,
                 250 * MS,
-                Partner.COLD_SHARE,
-                Partner.COLD_NS,
-                Partner.FALL_MULTIPLE,
-                Partner.FALL_NS,
+                SimulatedDestination.COLD_SHARE,
+                SimulatedDestination.COLD_NS,
+                SimulatedDestination.FALL_MULTIPLE,
+                SimulatedDestination.FALL_NS,
                 100 * MS,
                 new Sender.Connections(5 * S, 1, 1_500 * MS),
                 new Sender.Prices(0, 0, List.of()));
-        this.brain = new Brain(settings, random.nextLong(), this);
+        this.brain = new DispatchPolicy(settings, random.nextLong(), this);
         List<Sender.Endpoint> list = partners.values().stream()
                 .map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
                 .toList();
@@ -120,7 +120,7 @@
             time.at(at, () -> {
                 double draw = random.nextDouble() * all;
                 long to = 0;
-                for (Partner p : partners.values()) {
+                for (SimulatedDestination p : partners.values()) {
                     to = p.id;
                     draw -= shares.get(p.id);
                     if (draw < 0) {
@@ -184,14 +184,15 @@
         m.out = attempt;
         out++;
         calls++;
-        Partner.Reply r = partners.get(m.destination).call(id, attempt, now, m.deadline - now - 50 * MS);
+        SimulatedDestination.Reply r = partners.get(m.destination).call(id, attempt, now, m.deadline - now - 50 * MS);
         boolean lost = r.afterNs() >= stopAt - now - 50 * MS;
         long end = lost ? Math.max(now, stopAt - 50 * MS) : now + r.afterNs();
-        Partner.Reply told = lost ? new Partner.Reply(Sender.Result.TIMEOUT, end - now, 0) : r;
+        SimulatedDestination.Reply told =
+                lost ? new SimulatedDestination.Reply(Sender.Result.TIMEOUT, end - now, 0) : r;
         after.add(() -> time.at(end, () -> ended(m, attempt, endpoint, now, told)));
     }
 
-    private void ended(Held m, int attempt, String endpoint, long start, Partner.Reply r) {
+    private void ended(Held m, int attempt, String endpoint, long start, SimulatedDestination.Reply r) {
         if (m.out != attempt || held.get(m.id) != m && r.result() != Sender.Result.CANCELLED) {
             return; // cut short before
         }
@@ -234,7 +235,11 @@
             after.add(() -> time.at(
                     now,
                     () -> ended(
-                            m, attempt, "p" + m.destination, now, new Partner.Reply(Sender.Result.CANCELLED, 0, 0))));
+                            m,
+                            attempt,
+                            "p" + m.destination,
+                            now,
+                            new SimulatedDestination.Reply(Sender.Result.CANCELLED, 0, 0))));
         }
     }
 
@@ -282,16 +287,16 @@
     // ---------------------------------------------------------------- its part in the gossip
 
     @Override
-    public List<Agent.Own> own() {
-        List<Agent.Own> all = new ArrayList<>();
+    public List<GossipAgent.Own> own() {
+        List<GossipAgent.Own> all = new ArrayList<>();
         brain.breakers(
                 time.now(),
-                (id, b) -> all.add(new Agent.Own(
+                (id, b) -> all.add(new GossipAgent.Own(
                         id,
                         switch (b.standing()) {
-                            case CLOSED -> Claim.State.CLOSED;
-                            case HALF_OPEN -> Claim.State.HALF_OPEN;
-                            case OPEN -> Claim.State.OPEN;
+                            case CLOSED -> HealthReport.State.CLOSED;
+                            case HALF_OPEN -> HealthReport.State.HALF_OPEN;
+                            case OPEN -> HealthReport.State.OPEN;
                         },
                         (int) (Math.max(0, b.waitNs()) / MS),
                         b.calls(),
@@ -300,7 +305,7 @@
     }
 
     @Override
-    public void advise(long destination, Agent.Word word) {
+    public void advise(long destination, GossipAgent.Word word) {
         brain.advised(time.now(), destination, word.doubt(), word.trying());
     }
 }
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
@@ -1,14 +1,14 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.emulator.VirtualTime;
-import elderseam.gossip.Agent;
-import elderseam.gossip.Ceiling;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Codec;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.MemberState;
 import elderseam.gossip.Packet;
-import elderseam.gossip.Standing;
-import elderseam.gossip.Tempo;
-import elderseam.gossip.Trust;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.PeerVerifier;
+import elderseam.gossip.SendRateLimiter;
+import elderseam.testkit.emulator.VirtualTime;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,20 +21,20 @@
  * Members on a network of virtual time. Each event stands at a time and has a number, so that one seed gives one course; the
  * network, each member and the choice of delays draw from streams of their own.
  */
-public final class Fleet {
+public final class SimulatedFleet {
     private static final long MS = 1_000_000;
     private static final int HEAD = 110; // bytes of an envelope with a short name: seal, key, token, number, clock
     private static final long LOOK_NS = 250 * MS;
 
     /** What a node's dispatcher tells of its breakers, and is told of others'. */
     interface Dispatching {
-        List<Agent.Own> own();
+        List<GossipAgent.Own> own();
 
-        void advise(long destination, Agent.Word word);
+        void advise(long destination, GossipAgent.Word word);
     }
 
     /** Keys that cost nothing; that nobody here forges is the network's doing. */
-    private static final Trust TRUST = new Trust() {
+    private static final PeerVerifier TRUST = new PeerVerifier() {
         @Override
         public int key() {
             return 1;
@@ -57,13 +57,13 @@
     };
 
     /** A change that one member saw of another. */
-    public record Change(long at, String by, String of, Standing standing) {}
+    public record Change(long at, String by, String of, MemberState standing) {}
 
     private final class Node {
         final String name;
         final int side;
         final long clockOff;
-        Agent agent;
+        GossipAgent agent;
         Dispatching dispatching;
         long tickAt = Long.MAX_VALUE, lives, held, bytes, datagrams;
         boolean up, hung;
@@ -84,7 +84,7 @@
         }
     }
 
-    private final Tempo tempo;
+    private final GossipTimings tempo;
     private final double loss, repeat;
     private final SplittableRandom seeds, network;
     private final VirtualTime time;
@@ -93,11 +93,11 @@
     private boolean parted;
 
     /** {@code loss}: share of datagrams that are lost; {@code repeat}: share that come twice. */
-    public Fleet(int instances, Tempo tempo, double loss, double repeat, long seed) {
+    public SimulatedFleet(int instances, GossipTimings tempo, double loss, double repeat, long seed) {
         this(new VirtualTime(), instances, tempo, loss, repeat, seed);
     }
 
-    Fleet(VirtualTime time, int instances, Tempo tempo, double loss, double repeat, long seed) {
+    SimulatedFleet(VirtualTime time, int instances, GossipTimings tempo, double loss, double repeat, long seed) {
         this.time = time;
         this.tempo = tempo;
         this.loss = loss;
@@ -117,13 +117,13 @@
         n.hung = false;
         n.lives++;
         String by = n.name;
-        n.agent = new Agent(
+        n.agent = new GossipAgent(
                 n.name,
                 n.name,
                 List.of("n0000", "n0001"),
                 incarnation,
                 tempo,
-                new Ceiling(64 << 10, 100, n.now()),
+                new SendRateLimiter(64 << 10, 100, n.now()),
                 TRUST,
                 n.now(),
                 seeds.split(),
@@ -154,12 +154,12 @@
         long start = time.now();
         tie(from, new Dispatching() {
             @Override
-            public List<Agent.Own> own() {
-                return List.of(new Agent.Own(destination, Claim.State.OPEN, 0, 20, 20));
+            public List<GossipAgent.Own> own() {
+                return List.of(new GossipAgent.Own(destination, HealthReport.State.OPEN, 0, 20, 20));
             }
 
             @Override
-            public void advise(long of, Agent.Word word) {
+            public void advise(long of, GossipAgent.Word word) {
                 // what others say is not the matter here
             }
         });
@@ -228,7 +228,7 @@
     }
 
     /** What one member holds of another, or null. */
-    public Standing standing(String by, String of) {
+    public MemberState standing(String by, String of) {
         return nodes.get(by).agent.membership().standing(of);
     }
 
@@ -281,7 +281,7 @@
     }
 
     private void flush(Node n) {
-        for (Agent.Outgoing o : n.agent.sent(n.now())) {
+        for (GossipAgent.Outgoing o : n.agent.sent(n.now())) {
             n.bytes += HEAD + o.bytes().length;
             n.datagrams++;
             carry(n, nodes.get(o.address()), o.bytes());
@@ -326,7 +326,11 @@
                                 to,
                                 to.lives,
                                 () -> to.agent.receive(
-                                        from.name, Codec.decode(ByteBuffer.wrap(bytes)), to.now(), to.wallMs(), wall)));
+                                        from.name,
+                                        PacketCodec.decode(ByteBuffer.wrap(bytes)),
+                                        to.now(),
+                                        to.wallMs(),
+                                        wall)));
             }
         }
     }
--- a/src/main/java/elderseam/gossip/trial/Service.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedService.java
@@ -1,9 +1,9 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.emulator.VirtualTime;
-import elderseam.gossip.Agent;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Tempo;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.testkit.emulator.VirtualTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,7 +19,7 @@
  * @param service worth delivered of all worth handed in to dispatchers that don't lie
  * @param felled times that a cold partner was pushed over (rule 4); broken: rules broken by any dispatcher
  */
-public record Service(
+public record SimulatedService(
         int instances,
         double loss,
         int liars,
@@ -40,27 +40,29 @@
     private static final double UNEVEN = 100; // between those whose clients want a partner most and least
     private static final double BUSY = 8, RARE = 1; // calls a second that a partner stands, for each dispatcher
 
-    public static Service run(int instances, double loss, int liars, boolean gossip, long seed) {
+    public static SimulatedService run(int instances, double loss, int liars, boolean gossip, long seed) {
         if (instances < 3 || instances > 1_000 || liars < 0 || liars >= instances) {
             throw new IllegalArgumentException("dispatchers are 3 to 1000, liars fewer than they");
         }
         VirtualTime time = new VirtualTime();
         SplittableRandom seeds = new SplittableRandom(seed);
-        Fleet fleet = new Fleet(time, instances, Tempo.USUAL, loss, loss / 10, seeds.nextLong());
+        SimulatedFleet fleet =
+                new SimulatedFleet(time, instances, GossipTimings.USUAL, loss, loss / 10, seeds.nextLong());
         fleet.untilAgreed(60 * S);
         long from = time.now();
-        Map<Long, Partner> partners = new TreeMap<>();
+        Map<Long, SimulatedDestination> partners = new TreeMap<>();
         for (long id = 1; id <= PARTNERS; id++) {
             double each = (id % 4 == 1 ? BUSY : RARE) * instances; // calls a second that a partner stands
-            partners.put(id, new Partner(id, each, outages(id, from), seeds.nextLong()));
+            partners.put(id, new SimulatedDestination(id, each, outages(id, from), seeds.nextLong()));
         }
         partners.get(6L).sick(from + 75 * S, from + 110 * S);
         partners.get(5L).sick(from + 75 * S, from + 110 * S);
         List<Map<Long, Double>> wanted = wanted(instances, partners, seeds.split());
-        List<Dispatcher> all = new ArrayList<>();
+        List<SimulatedDispatcher> all = new ArrayList<>();
         for (int i = 0; i < instances; i++) {
             String name = String.format("n%04d", i);
-            Dispatcher d = new Dispatcher(name, time, partners, instances, wanted.get(i), seeds.split());
+            SimulatedDispatcher d =
+                    new SimulatedDispatcher(name, time, partners, instances, wanted.get(i), seeds.split());
             all.add(d);
             d.run(from + 120 * S);
             if (gossip) {
@@ -72,7 +74,7 @@
         double worth = 0, possible = 0;
         int messages = 0, calls = 0, failedCalls = 0, refusals = 0, failures = 0, broken = 0;
         for (int i = 0; i < instances; i++) {
-            Dispatcher.Tally t = all.get(i).tally();
+            SimulatedDispatcher.Tally t = all.get(i).tally();
             broken += t.broken();
             if (i >= liars) {
                 worth += t.worth();
@@ -84,7 +86,7 @@
                 failures += t.failures();
             }
         }
-        return new Service(
+        return new SimulatedService(
                 instances,
                 loss,
                 liars,
@@ -102,12 +104,13 @@
     }
 
     /** What each dispatcher's clients want of each partner: from a few hundredths to many times of another's, as tenants differ. */
-    private static List<Map<Long, Double>> wanted(int instances, Map<Long, Partner> partners, SplittableRandom random) {
+    private static List<Map<Long, Double>> wanted(
+            int instances, Map<Long, SimulatedDestination> partners, SplittableRandom random) {
         List<Map<Long, Double>> all = new ArrayList<>();
         for (int i = 0; i < instances; i++) {
             all.add(new TreeMap<>());
         }
-        for (Partner p : partners.values()) {
+        for (SimulatedDestination p : partners.values()) {
             double[] parts =
                     random.doubles(instances).map(x -> Math.pow(UNEVEN, x)).toArray();
             double sum = 0;
@@ -121,31 +124,41 @@
         return all;
     }
 
-    private static List<Partner.Outage> outages(long id, long from) {
+    private static List<SimulatedDestination.Outage> outages(long id, long from) {
         return switch ((int) id) {
-            case 1 -> List.of(new Partner.Outage(from + 30 * S, from + 60 * S, Partner.Fault.REFUSES));
-            case 2 -> List.of(new Partner.Outage(from + 40 * S, from + 70 * S, Partner.Fault.HANGS));
+            case 1 ->
+                List.of(new SimulatedDestination.Outage(
+                        from + 30 * S, from + 60 * S, SimulatedDestination.Fault.REFUSES));
+            case 2 ->
+                List.of(new SimulatedDestination.Outage(
+                        from + 40 * S, from + 70 * S, SimulatedDestination.Fault.HANGS));
             case 3 ->
                 List.of(
-                        new Partner.Outage(from + 50 * S, from + 65 * S, Partner.Fault.ERRORS),
-                        new Partner.Outage(from + 90 * S, from + 95 * S, Partner.Fault.ERRORS));
-            case 4 -> List.of(new Partner.Outage(from + 35 * S, from + 75 * S, Partner.Fault.REFUSES));
+                        new SimulatedDestination.Outage(
+                                from + 50 * S, from + 65 * S, SimulatedDestination.Fault.ERRORS),
+                        new SimulatedDestination.Outage(
+                                from + 90 * S, from + 95 * S, SimulatedDestination.Fault.ERRORS));
+            case 4 ->
+                List.of(new SimulatedDestination.Outage(
+                        from + 35 * S, from + 75 * S, SimulatedDestination.Fault.REFUSES));
             default -> List.of();
         };
     }
 
-    private static Fleet.Dispatching liar(VirtualTime time, Map<Long, Partner> partners, boolean flaps) {
-        return new Fleet.Dispatching() {
+    private static SimulatedFleet.Dispatching liar(
+            VirtualTime time, Map<Long, SimulatedDestination> partners, boolean flaps) {
+        return new SimulatedFleet.Dispatching() {
             @Override
-            public List<Agent.Own> own() {
-                Claim.State says = flaps && time.now() / (5 * S) % 2 == 1 ? Claim.State.CLOSED : Claim.State.OPEN;
+            public List<GossipAgent.Own> own() {
+                HealthReport.State says =
+                        flaps && time.now() / (5 * S) % 2 == 1 ? HealthReport.State.CLOSED : HealthReport.State.OPEN;
                 return partners.keySet().stream()
-                        .map(id -> new Agent.Own(id, says, 10_000, 100, 100))
+                        .map(id -> new GossipAgent.Own(id, says, 10_000, 100, 100))
                         .toList();
             }
 
             @Override
-            public void advise(long destination, Agent.Word word) {
+            public void advise(long destination, GossipAgent.Word word) {
                 // a liar does not listen
             }
         };
--- a/src/main/java/elderseam/gossip/trial/Trial.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulationRun.java
@@ -1,7 +1,7 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.gossip.Standing;
-import elderseam.gossip.Tempo;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.MemberState;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -17,7 +17,7 @@
  * @param claimMs from a breaker that opens at one until all hold its claim, -1: not within 60 s
  * @param suspectedMs from the kill until the first suspected it; deadMs: held it dead; allMs: until all did, -1: not within 120 s
  */
-public record Trial(
+public record SimulationRun(
         int instances,
         double loss,
         boolean localHealth,
@@ -34,22 +34,24 @@
         long allMs) {
     private static final long MS = 1_000_000, S = 1_000 * MS;
 
-    public static Trial run(int instances, double loss, boolean localHealth, int undisturbedS, long seed) {
+    public static SimulationRun run(int instances, double loss, boolean localHealth, int undisturbedS, long seed) {
         if (instances < 3 || instances > 1_000 || loss < 0 || loss > 0.9 || undisturbedS < 1) {
             throw new IllegalArgumentException(
                     "a trial has 3 to 1000 instances, a loss of 0 to 0.9, at least 1 s undisturbed");
         }
-        Fleet fleet = new Fleet(instances, localHealth ? Tempo.USUAL : Tempo.USUAL.plain(), loss, loss / 10, seed);
+        SimulatedFleet fleet = new SimulatedFleet(
+                instances, localHealth ? GossipTimings.USUAL : GossipTimings.USUAL.plain(), loss, loss / 10, seed);
         long joined = fleet.untilAgreed(300 * S);
         fleet.pass(10 * S);
         fleet.traffic();
         int before = fleet.changes().size();
         fleet.pass(undisturbedS * S);
-        List<Fleet.Change> noise =
+        List<SimulatedFleet.Change> noise =
                 fleet.changes().subList(before, fleet.changes().size());
         long suspicions =
-                noise.stream().filter(c -> c.standing() == Standing.SUSPECT).count();
-        long deaths = noise.stream().filter(c -> c.standing() == Standing.DEAD).count();
+                noise.stream().filter(c -> c.standing() == MemberState.SUSPECT).count();
+        long deaths =
+                noise.stream().filter(c -> c.standing() == MemberState.DEAD).count();
         Map<String, long[]> traffic = fleet.traffic();
         long bytes = traffic.values().stream().mapToLong(t -> t[0]).sum() / instances / undisturbedS;
         long most = traffic.values().stream().mapToLong(t -> t[0]).max().orElse(0) / undisturbedS;
@@ -63,16 +65,17 @@
         fleet.pass(120 * S);
         long[] first = {-1, -1, -1};
         int dead = 0;
-        for (Fleet.Change c : fleet.changes().subList(from, fleet.changes().size())) {
+        for (SimulatedFleet.Change c :
+                fleet.changes().subList(from, fleet.changes().size())) {
             if (c.of().equals(lost)) {
                 long ms = (c.at() - killed) / MS;
-                first[0] = first[0] < 0 && c.standing() == Standing.SUSPECT ? ms : first[0];
-                first[1] = first[1] < 0 && c.standing() == Standing.DEAD ? ms : first[1];
-                dead += c.standing() == Standing.DEAD ? 1 : 0;
+                first[0] = first[0] < 0 && c.standing() == MemberState.SUSPECT ? ms : first[0];
+                first[1] = first[1] < 0 && c.standing() == MemberState.DEAD ? ms : first[1];
+                dead += c.standing() == MemberState.DEAD ? 1 : 0;
                 first[2] = first[2] < 0 && dead >= instances - 1 ? ms : first[2];
             }
         }
-        return new Trial(
+        return new SimulationRun(
                 instances,
                 loss,
                 localHealth,
--- a/src/main/java/elderseam/lab/Chart.java
+++ b/src/main/java/elderseam/testkit/lab/ChartRenderer.java
@@ -1,4 +1,4 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
 import java.awt.Color;
 import java.io.IOException;
@@ -16,13 +16,13 @@
 import org.knowm.xchart.style.markers.SeriesMarkers;
 
 /** Charts over time as parts of an HTML page: lines by XChart, as pictures; timelines of states as SVG. */
-final class Chart {
+final class ChartRenderer {
     /** Something that was done to the world from then to then, in seconds. */
     record Band(double from, double to, String what, String colour) {}
 
     private static final int WIDTH = 960, HEIGHT = 260, ROW = 10, LEFT = 60;
 
-    private Chart() {}
+    private ChartRenderer() {}
 
     /** One line a name, a value a second; NaN is a gap. {@code most} may be NaN: as high as needed. */
     static String lines(Map<String, double[]> all, double least, double most, List<Band> bands) {
@@ -78,7 +78,7 @@
                     b.colour,
                     LEFT + b.from * cell,
                     height - 2,
-                    Report.text(b.what)));
+                    HtmlReport.text(b.what)));
         }
         int row = 0;
         for (Map.Entry<Long, byte[]> e : all.entrySet()) {
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -1,12 +1,12 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
-import elderseam.core.Json;
-import elderseam.emulator.Checkers;
-import elderseam.emulator.Plan;
-import elderseam.emulator.Policies;
-import elderseam.emulator.Tally;
-import elderseam.emulator.World;
-import elderseam.module.Sender;
+import elderseam.core.JsonValue;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.EmulatedWorld;
+import elderseam.testkit.emulator.Policies;
+import elderseam.testkit.emulator.RuleCheckers;
+import elderseam.testkit.emulator.RunStatistics;
+import elderseam.testkit.emulator.Scenario;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -21,7 +21,7 @@
  *
  * @param breakers of each destination that ever had a breaker open: by second 0 closed, 1 trying, 2 open, the worst of all dispatchers
  */
-public record Run(
+public record ExperimentRun(
         String policy,
         long seed,
         Map<String, Double> figures,
@@ -37,10 +37,10 @@
     private static final int MOST_TIMELINES = 200;
     static final double[] PERCENTILES = {1, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99, 100};
 
-    public static Run of(Plan plan, String policy, long seed, DoubleConsumer progress) {
-        Tally tally = new Tally(plan);
-        Checkers checkers = new Checkers(plan.fleet().slots());
-        World world = new World(plan, policy, seed, List.of(tally, checkers));
+    public static ExperimentRun of(Scenario plan, String policy, long seed, DoubleConsumer progress) {
+        RunStatistics tally = new RunStatistics(plan);
+        RuleCheckers checkers = new RuleCheckers(plan.fleet().slots());
+        EmulatedWorld world = new EmulatedWorld(plan, policy, seed, List.of(tally, checkers));
         int seconds = (int) Math.ceil(plan.seconds());
         Map<Long, byte[]> lines = new HashMap<>();
         for (int s = 0; s < seconds; s++) {
@@ -67,7 +67,7 @@
             }
             latencies.put(Policies.CLASS_NAMES.get(c), at);
         }
-        return new Run(
+        return new ExperimentRun(
                 policy,
                 seed,
                 figures,
@@ -110,11 +110,11 @@
     /** One line of JSON with the figures; the series are the report's. */
     public String json(Map<String, String> parameters) {
         List<String> all = new ArrayList<>();
-        parameters.forEach((k, v) -> all.add(Json.quoted(k) + ":" + Json.quoted(v)));
-        all.add("\"policy\":" + Json.quoted(policy));
+        parameters.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + JsonValue.quoted(v)));
+        all.add("\"policy\":" + JsonValue.quoted(policy));
         all.add("\"seed\":" + seed);
-        figures.forEach((k, v) -> all.add(Json.quoted(k) + ":" + number(v)));
-        broken.forEach((k, v) -> all.add(Json.quoted("broken_" + k) + ":" + v));
+        figures.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + number(v)));
+        broken.forEach((k, v) -> all.add(JsonValue.quoted("broken_" + k) + ":" + v));
         return "{" + String.join(",", all) + "}";
     }
 
--- a/src/main/java/elderseam/lab/Compare.java
+++ b/src/main/java/elderseam/testkit/lab/PairedComparison.java
@@ -1,4 +1,4 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
 import java.util.Arrays;
 import java.util.Locale;
@@ -9,10 +9,10 @@
  * The paired differences of a figure over the same seeds, with a confidence interval of 95% by the bootstrap's percentiles (Efron
  * 1979; 10,000 resamples, whose seed is fixed). An interval that holds 0 is noise, and so is one of fewer than five pairs.
  */
-public record Compare(int pairs, double meanA, double meanB, double difference, double low, double high) {
+public record PairedComparison(int pairs, double meanA, double meanB, double difference, double low, double high) {
     private static final int RESAMPLES = 10_000, LEAST = 5;
 
-    public static Compare of(double[] a, double[] b) {
+    public static PairedComparison of(double[] a, double[] b) {
         if (a.length != b.length || a.length == 0) {
             throw new IllegalArgumentException(
                     a.length + " and " + b.length + " runs, allowed: the same seeds on both sides, at least one");
@@ -31,7 +31,7 @@
             means[n] = sum / d.length;
         }
         Arrays.sort(means);
-        return new Compare(
+        return new PairedComparison(
                 d.length, mean(a), mean(b), mean(d), means[RESAMPLES / 40], means[RESAMPLES - 1 - RESAMPLES / 40]);
     }
 
--- a/src/main/java/elderseam/lab/Sweep.java
+++ b/src/main/java/elderseam/testkit/lab/ParameterSweep.java
@@ -1,7 +1,7 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
-import elderseam.emulator.Plan;
-import elderseam.emulator.PlanFile;
+import elderseam.testkit.emulator.Scenario;
+import elderseam.testkit.emulator.ScenarioFile;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,7 +23,7 @@
  * A grid of parameters by policies by seeds, on all cores. Each run that is done is a line of {@code runs.jsonl}, written whole at
  * once; what is begun anew on the same folder skips those that are there, and a line that was torn by a kill is cut off.
  */
-public final class Sweep {
+public final class ParameterSweep {
     /** One cell of the grid: values by {@code kind.name.key}, policy and seed. */
     public record Cell(Map<String, String> set, String policy, long seed) {
         String name() {
@@ -36,7 +36,7 @@
     private final Path folder;
 
     /** Of a scenario, into a folder that is this sweep's own. */
-    public Sweep(String file, List<String> lines, Path folder) {
+    public ParameterSweep(String file, List<String> lines, Path folder) {
         this.file = file;
         this.lines = lines;
         this.folder = folder;
@@ -71,7 +71,7 @@
     public int run(List<Cell> cells, int threads, BiConsumer<Integer, Integer> progress)
             throws IOException, InterruptedException {
         for (Cell c : cells) {
-            PlanFile.of(file, lines, c.set); // every plan of the grid is sound before any runs
+            ScenarioFile.of(file, lines, c.set); // every plan of the grid is sound before any runs
         }
         Files.createDirectories(folder);
         Path results = folder.resolve("runs.jsonl"), copy = folder.resolve("scenario");
@@ -89,8 +89,9 @@
             List<Future<?>> all = new ArrayList<>();
             for (Cell c : left) {
                 all.add(pool.submit(() -> {
-                    Plan plan = PlanFile.of(file, lines, c.set);
-                    String line = Run.of(plan, c.policy, c.seed, s -> {}).json(named(c)) + "\n";
+                    Scenario plan = ScenarioFile.of(file, lines, c.set);
+                    String line =
+                            ExperimentRun.of(plan, c.policy, c.seed, s -> {}).json(named(c)) + "\n";
                     synchronized (this) {
                         Files.writeString(results, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
                         progress.accept(++done[0], cells.size());
@@ -126,7 +127,7 @@
         if (whole < text.length()) {
             Files.writeString(results, text.substring(0, whole));
         }
-        for (Table.Row r : Table.read(results)) {
+        for (RunTable.Row r : RunTable.read(results)) {
             all.add(r.text("cell"));
         }
         return all;
--- a/src/main/java/elderseam/lab/Table.java
+++ b/src/main/java/elderseam/testkit/lab/RunTable.java
@@ -1,4 +1,4 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /** The runs of a folder as rows, and rows as CSV. */
-public final class Table {
+public final class RunTable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** One run's values by name. */
@@ -32,7 +32,7 @@
         }
     }
 
-    private Table() {}
+    private RunTable() {}
 
     /** Faults name the line. */
     public static List<Row> read(Path file) throws IOException {
@@ -61,7 +61,7 @@
         Set<String> names = new LinkedHashSet<>();
         rows.forEach(r -> names.addAll(r.values.keySet()));
         StringBuilder all = new StringBuilder(
-                        String.join(",", names.stream().map(Table::cell).toList()))
+                        String.join(",", names.stream().map(RunTable::cell).toList()))
                 .append('\n');
         for (Row r : rows) {
             all.append(String.join(",", names.stream().map(n -> cell(r.text(n))).toList()))
--- a/src/main/java/elderseam/lab/Find.java
+++ b/src/main/java/elderseam/testkit/lab/WorstDaySearch.java
@@ -1,8 +1,8 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
-import elderseam.emulator.Plan;
-import elderseam.emulator.PlanFile;
 import elderseam.settings.SettingsFault;
+import elderseam.testkit.emulator.Scenario;
+import elderseam.testkit.emulator.ScenarioFile;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +17,7 @@
  * changed and taken away at random, and what widens the gap is kept (a hill climb, begun anew three times); the worst is then
  * shrunk: what can be left out, or made shorter, while nine tenths of the gap stay, is. One seed gives one day.
  */
-public final class Find {
+public final class WorstDaySearch {
     /** The day as a scenario, its gap in service, and how many days were played. */
     public record Found(List<String> scenario, double gap, double policy, double against, int played) {}
 
@@ -32,7 +32,7 @@
     private static final double KEPT = 0.9;
 
     private final List<String> base;
-    private final Plan plan;
+    private final Scenario plan;
     private final String policy, against;
     private final long seed;
     private final UniformRandomProvider random;
@@ -40,10 +40,11 @@
     private int played;
 
     /** {@code base}: a scenario of fleet, kinds and clients, to which the days are added. */
-    public Find(String file, List<String> base, String policy, String against, long seed, Consumer<String> progress)
+    public WorstDaySearch(
+            String file, List<String> base, String policy, String against, long seed, Consumer<String> progress)
             throws SettingsFault {
         this.base = base;
-        this.plan = PlanFile.of(file, base, Map.of());
+        this.plan = ScenarioFile.of(file, base, Map.of());
         this.policy = policy;
         this.against = against;
         this.seed = seed;
@@ -141,7 +142,7 @@
                         "kind",
                         plan.kinds().get(random.nextInt(plan.kinds().size())).name());
                 v.put("part", value(0.1 + 0.9 * random.nextDouble()));
-                v.put("fault", Plan.Fault.values()[random.nextInt(Plan.Fault.values().length)].wireName());
+                v.put("fault", Scenario.Fault.values()[random.nextInt(Scenario.Fault.values().length)].wireName());
                 v.put("factor", value(2 + 30 * random.nextDouble()));
             }
             case "flood" -> {
@@ -170,7 +171,7 @@
     }
 
     private double service(List<Part> parts, String of) throws SettingsFault {
-        return Run.of(PlanFile.of("found", text(parts), Map.of()), of, seed, s -> {})
+        return ExperimentRun.of(ScenarioFile.of("found", text(parts), Map.of()), of, seed, s -> {})
                 .figures()
                 .get("service");
     }
--- a/src/main/java/elderseam/sim/Fields.java
+++ b/src/main/java/elderseam/testkit/simulator/LineFields.java
@@ -1,12 +1,12 @@
-package elderseam.sim;
+package elderseam.testkit.simulator;
 
 /** The parts of one line, read from left to right. */
-final class Fields {
+final class LineFields {
     private final String line;
     private final long lineNo;
     private int at;
 
-    Fields(String line, long lineNo) {
+    LineFields(String line, long lineNo) {
         this.line = line;
         this.lineNo = lineNo;
     }
--- a/src/main/java/elderseam/sim/Host.java
+++ b/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
@@ -1,7 +1,7 @@
-package elderseam.sim;
+package elderseam.testkit.simulator;
 
-import elderseam.module.Brain;
-import elderseam.module.Sender;
+import elderseam.policy.DispatchPolicy;
+import elderseam.policy.Sender;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,7 +14,7 @@
 import java.util.Map;
 
 /** Hosts one module for each courier on the simulator's wire. It translates and decides nothing. */
-public final class Host {
+public final class SimulatorHost {
     private static final int SLOTS = 16;
 
     private final BufferedReader in;
@@ -26,7 +26,7 @@
     private long lineNo;
     private long turns;
 
-    public Host(InputStream in, OutputStream out) {
+    public SimulatorHost(InputStream in, OutputStream out) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = out;
         for (int i = 0; i < SLOTS; i++) {
@@ -37,7 +37,7 @@
     public void run() throws IOException {
         String line;
         while ((line = next()) != null) {
-            Fields f = new Fields(line, lineNo);
+            LineFields f = new LineFields(line, lineNo);
             if (!f.text("message name").equals("TURN")) {
                 throw f.fault("expected TURN");
             }
@@ -66,7 +66,7 @@
         active.clear();
         turns++;
         while (true) {
-            Fields f = new Fields(nextInBatch(), lineNo);
+            LineFields f = new LineFields(nextInBatch(), lineNo);
             String name = f.text("message name");
             if (name.equals("FLUSH")) {
                 f.end();
@@ -88,22 +88,22 @@
         out.flush();
     }
 
-    private void manifest(Fields f) throws IOException {
+    private void manifest(LineFields f) throws IOException {
         int slot = f.index("list slot", SLOTS);
         int rows = f.index("row count", Integer.MAX_VALUE);
         f.end();
         List<Sender.Endpoint> entries = new ArrayList<>(Math.min(rows, 4096));
         for (int i = 0; i < rows; i++) {
-            Fields r = new Fields(nextInBatch(), lineNo);
+            LineFields r = new LineFields(nextInBatch(), lineNo);
             if (!r.text("message name").equals("ROW")) {
                 throw r.fault("expected ROW");
             }
-            entries.add(Codec.endpoint(r));
+            entries.add(WireCodec.endpoint(r));
         }
         lists.set(slot, entries);
     }
 
-    private List<Sender.Endpoint> list(String slot, Fields f) {
+    private List<Sender.Endpoint> list(String slot, LineFields f) {
         long number = f.number(slot, "list slot");
         if (number < 0 || number >= SLOTS || lists.get((int) number) == null) {
             throw f.fault("no list in slot " + number);
@@ -111,7 +111,7 @@
         return lists.get((int) number);
     }
 
-    private void event(String name, Fields f, long now) {
+    private void event(String name, LineFields f, long now) {
         String id = f.text("courier");
         if (name.equals("ENLIST")) {
             long seed = f.number("seed");
@@ -120,7 +120,7 @@
             active.removeIf(a -> a.id.equals(id));
             active.add(c);
             c.turn = turns;
-            c.guard(() -> c.brain = new Brain(Codec.settings(f), seed, c));
+            c.guard(() -> c.brain = new DispatchPolicy(WireCodec.settings(f), seed, c));
             return;
         }
         Courier c = couriers.get(id);
@@ -141,25 +141,25 @@
         }
     }
 
-    private Runnable translate(String name, Fields f, long now, Courier c) {
+    private Runnable translate(String name, LineFields f, long now, Courier c) {
         switch (name) {
             case "CRASH_NOW":
                 f.end();
                 return null;
             case "UPDATE": {
                 String slot = f.text("list slot");
-                Sender.ListKind kind = Codec.listKind(f);
+                Sender.ListKind kind = WireCodec.listKind(f);
                 f.numberOr("generation", 0);
                 f.end();
                 List<Sender.Endpoint> entries = kind == Sender.ListKind.FAILED ? List.of() : list(slot, f);
                 return () -> c.brain.endpoints(now, kind, entries);
             }
             case "SUBMIT": {
-                Sender.Message m = Codec.message(f);
+                Sender.Message m = WireCodec.message(f);
                 return () -> c.brain.message(now, m);
             }
             case "RESPONSE": {
-                Sender.Outcome o = Codec.outcome(f);
+                Sender.Outcome o = WireCodec.outcome(f);
                 return () -> c.brain.outcome(now, o);
             }
             case "LAPSED": {
@@ -173,10 +173,10 @@
                 return () -> c.brain.timer(now, token);
             }
             case "CHECKED":
-                Codec.checked(f);
+                WireCodec.checked(f);
                 return null;
             case "FIRST_BYTE":
-                Codec.firstByte(f);
+                WireCodec.firstByte(f);
                 return null;
             case "DATAGRAM":
                 f.number("src");
@@ -191,7 +191,7 @@
     /** One courier: writes its module's actions to the reply. */
     private final class Courier implements Sender.Actions {
         private final String id;
-        private Brain brain;
+        private DispatchPolicy brain;
         private long turn;
 
         Courier(String id) {
--- a/src/main/java/elderseam/sim/Codec.java
+++ b/src/main/java/elderseam/testkit/simulator/WireCodec.java
@@ -1,22 +1,22 @@
-package elderseam.sim;
+package elderseam.testkit.simulator;
 
 import elderseam.core.SettingsMap;
-import elderseam.module.Sender;
-import elderseam.module.Sender.ListKind;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Report;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender;
+import elderseam.policy.Sender.ListKind;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Report;
+import elderseam.policy.Sender.Result;
 import java.util.HashMap;
 import java.util.Map;
 
 /** Turns lines of the wire into records of the interface. */
-final class Codec {
+final class WireCodec {
     private static final long NS_PER_MS = 1_000_000;
     private static final long AGAIN = 2 | 16; // handed in again; from a courier that died
 
-    private Codec() {}
+    private WireCodec() {}
 
-    static Sender.Endpoint endpoint(Fields f) {
+    static Sender.Endpoint endpoint(LineFields f) {
         f.numberOr("upSinceNs", 0);
         String address = f.text("endpoint");
         Listing listing = switch (f.index("readiness", 3)) {
@@ -32,7 +32,7 @@
         return new Sender.Endpoint(address, destination, kind, zone, listing, weight);
     }
 
-    static ListKind listKind(Fields f) {
+    static ListKind listKind(LineFields f) {
         return switch (f.index("mode", 4)) {
             case 0 -> ListKind.CHANGES;
             case 1 -> ListKind.WHOLE;
@@ -41,7 +41,7 @@
         };
     }
 
-    static Sender.Message message(Fields f) {
+    static Sender.Message message(LineFields f) {
         String id = f.text("corr");
         int cls = f.index("cls", Integer.MAX_VALUE);
         int tenant = (int) f.numberOr("userGroup", 0);
@@ -54,7 +54,7 @@
         return new Sender.Message(id, cls, tenant, key, deadline, destination, (flags & AGAIN) != 0);
     }
 
-    static Sender.Outcome outcome(Fields f) {
+    static Sender.Outcome outcome(LineFields f) {
         String id = f.text("corr");
         long detail = f.numberOr("detail", 0);
         String endpoint = f.text("endpoint");
@@ -69,7 +69,7 @@
                 id, attempt, endpoint, result, latency, wait, result == Result.NOT_SENT && detail == 1, over, report);
     }
 
-    static void checked(Fields f) {
+    static void checked(LineFields f) {
         result(f);
         f.number("latencyNs");
         f.text("endpoint");
@@ -77,7 +77,7 @@
         f.end();
     }
 
-    static void firstByte(Fields f) {
+    static void firstByte(LineFields f) {
         f.text("corr");
         f.index("attempt", Integer.MAX_VALUE);
         f.text("endpoint");
@@ -85,7 +85,7 @@
         f.end();
     }
 
-    private static Result result(Fields f) {
+    private static Result result(LineFields f) {
         long code = f.number("rc");
         return switch ((int) code) {
             case 200 -> Result.DELIVERED;
@@ -100,7 +100,7 @@
         };
     }
 
-    private static Report report(Fields f) {
+    private static Report report(LineFields f) {
         String pairs = f.text("feedback");
         if (pairs.equals("-")) {
             return Report.NONE;
@@ -122,7 +122,7 @@
         return new Report(left, limit);
     }
 
-    static Sender.Settings settings(Fields f) {
+    static Sender.Settings settings(LineFields f) {
         Map<String, String> map = new HashMap<>();
         for (String pair : f.rest().split(" ")) {
             int eq = pair.indexOf('=');
--- a/src/main/java/elderseam/sim/WireException.java
+++ b/src/main/java/elderseam/testkit/simulator/WireException.java
@@ -1,4 +1,4 @@
-package elderseam.sim;
+package elderseam.testkit.simulator;
 
 /** Input that the wire does not allow; the message names line and fault. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/elderseam/acme/AcmeTest.java
+++ b/src/test/java/elderseam/acme/AcmeTest.java
@@ -5,8 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.Clock;
-import elderseam.http.Io;
-import elderseam.http.Server;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
+import elderseam.testkit.acme.StandInAuthority;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -43,7 +44,7 @@
     private final BlockingQueue<SSLContext> contexts = new LinkedBlockingQueue<>();
 
     /** A client that trusts the stand-in's root and nothing else. */
-    public static HttpClient trusting(Authority authority) throws Exception {
+    public static HttpClient trusting(StandInAuthority authority) throws Exception {
         KeyStore trusted = KeyStore.getInstance("PKCS12");
         trusted.load(null, null);
         trusted.setCertificateEntry("root", authority.root());
@@ -70,18 +71,18 @@
         }
     }
 
-    private Certificates certificates(Authority authority, String name) {
-        return new Certificates(authority.directory(), List.of(name), folder, contexts::add);
+    private CertificateManager certificates(StandInAuthority authority, String name) {
+        return new CertificateManager(authority.directory(), List.of(name), folder, contexts::add);
     }
 
     /** An order is proved, its certificate serves TLS that a client trusting the root accepts, and is used again. */
     @Test
     void aCertificateIsOrderedServedAndKept() throws Exception {
-        Io io = new Io(new Clock());
+        IoLoop io = new IoLoop(new Clock());
         int port = freePort();
-        Authority authority = new Authority(io, ANY, port);
-        Certificates certificates = certificates(authority, "localhost");
-        new Server(
+        StandInAuthority authority = new StandInAuthority(io, ANY, port);
+        CertificateManager certificates = certificates(authority, "localhost");
+        new HttpServer(
                 io,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
                 1024,
@@ -91,7 +92,8 @@
                 certificates::challenge);
         certificates.start();
         SSLContext context = contexts.poll(15, TimeUnit.SECONDS);
-        Server secure = new Server(io, ANY, 1024, 8, 1 << 20, context, (r, to) -> to.answer(200, Map.of(), "safe"));
+        HttpServer secure =
+                new HttpServer(io, ANY, 1024, 8, 1 << 20, context, (r, to) -> to.answer(200, Map.of(), "safe"));
 
         HttpResponse<String> answer = trusting(authority)
                 .send(
@@ -110,7 +112,7 @@
     /** A name that is not proved gets no certificate: the challenge is answered by nobody. */
     @Test
     void anUnprovedNameGetsNone() throws Exception {
-        Authority authority = new Authority(new Io(new Clock()), ANY, freePort());
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY, freePort());
         var account = new AccountBuilder()
                 .agreeToTermsOfService()
                 .useKeyPair(KeyPairUtils.createECKeyPair("secp256r1"))
@@ -128,7 +130,7 @@
     /** A request that was sent once is not good twice, nor is one that nobody signed. */
     @Test
     void unsignedRequestsAreTurnedAway() throws Exception {
-        Authority authority = new Authority(new Io(new Clock()), ANY, freePort());
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY, freePort());
         URI url = URI.create(authority.directory().replace("/directory", "/new-account"));
         HttpResponse<String> answer = HttpClient.newHttpClient()
                 .send(
--- a/src/test/java/elderseam/wiring/CertificateLogCompatTest.java
+++ b/src/test/java/elderseam/app/CertificateLogCompatTest.java
@@ -1,4 +1,4 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -12,9 +12,9 @@
 /** What the holder of the certificate's lease publishes in the group's log. */
 class CertificateLogCompatTest {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final List<OneOrder.Passed> PASSED = List.of(
-            new OneOrder.Passed("", Map.of("token-1", "token-1.thumbprint")),
-            new OneOrder.Passed("c2VhbGVk", Map.of()));
+    private static final List<LeasedCertificateOrder.Passed> PASSED = List.of(
+            new LeasedCertificateOrder.Passed("", Map.of("token-1", "token-1.thumbprint")),
+            new LeasedCertificateOrder.Passed("c2VhbGVk", Map.of()));
 
     @Test
     void passedCertificates() throws IOException {
@@ -22,7 +22,7 @@
         List<String> recorded = RecordedBytes.lines("lease/passed-certificates", written);
         assertEquals(recorded, written);
         for (int i = 0; i < PASSED.size(); i++) {
-            assertEquals(PASSED.get(i), JSON.readValue(recorded.get(i), OneOrder.Passed.class));
+            assertEquals(PASSED.get(i), JSON.readValue(recorded.get(i), LeasedCertificateOrder.Passed.class));
         }
     }
 }
--- a/src/test/java/elderseam/cli/GossipWordsTest.java
+++ b/src/test/java/elderseam/cli/GossipWordsTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.gossip.Claim;
-import elderseam.gossip.Standing;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.MemberState;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -14,10 +14,12 @@
     void statesKeepTheirWords() {
         assertEquals(
                 List.of("ALIVE", "SUSPECT", "DEAD", "LEFT"),
-                Arrays.stream(Standing.values()).map(GossipCommand.Watch::word).toList());
+                Arrays.stream(MemberState.values())
+                        .map(GossipCommand.Watch::word)
+                        .toList());
         assertEquals(
                 List.of("CLOSED", "HALF_OPEN", "OPEN"),
-                Arrays.stream(Claim.State.values())
+                Arrays.stream(HealthReport.State.values())
                         .map(GossipCommand.Watch::word)
                         .toList());
     }
--- a/src/test/java/elderseam/compat/CoreProcess.java
+++ b/src/test/java/elderseam/compat/CoreProcess.java
@@ -1,22 +1,22 @@
 package elderseam.compat;
 
-import elderseam.core.Answer;
-import elderseam.core.Attempt;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
+import elderseam.core.EndpointCall;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.core.EventLoop;
+import elderseam.core.FinalOutcome;
+import elderseam.core.InMemoryJournalStore;
 import elderseam.core.Journal;
-import elderseam.core.Json;
-import elderseam.core.Loop;
-import elderseam.core.Relay;
+import elderseam.core.JsonValue;
+import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.core.Upstream;
-import elderseam.core.UpstreamRequest;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.emulator.MemoryStore;
-import elderseam.platform.Discovery;
-import elderseam.platform.Hosts;
+import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.frontend.platform.EndpointList;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -27,7 +27,7 @@
 import java.util.PriorityQueue;
 
 /** One process's core without sockets or threads: its clock, its journal and the answers of hosts are the test's. */
-public final class CoreProcess implements Loop, Upstream {
+public final class CoreProcess implements EventLoop, AttemptSender {
     public static final SettingsMap SETTINGS = new SettingsMap(Map.ofEntries(
             Map.entry("services.count", "2"),
             Map.entry("services.0.effect", "by_key"),
@@ -66,23 +66,23 @@
     }
 
     public final ManualClock clock;
-    public final MemoryStore store;
-    public final Relay relay;
+    public final InMemoryJournalStore store;
+    public final RequestDispatcher relay;
     final Journal journal;
-    final Discovery discovery;
-    final Map<String, Attempt> attempts = new LinkedHashMap<>(); // unanswered, the last of each message
+    final DiscoveryWatcher discovery;
+    final Map<String, AttemptListener> attempts = new LinkedHashMap<>(); // unanswered, the last of each message
     final List<String> ended = new ArrayList<>(); // as the front was told
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private int timersSet;
 
-    public CoreProcess(MemoryStore store, ManualClock clock) throws IOException {
+    public CoreProcess(InMemoryJournalStore store, ManualClock clock) throws IOException {
         this.store = store;
         this.clock = clock;
         journal = new Journal(store, 1_000_000, clock);
-        relay = new Relay(SETTINGS.settings(), 11, journal, clock, this, words -> {});
+        relay = new RequestDispatcher(SETTINGS.settings(), 11, journal, clock, this, words -> {});
         relay.front(
                 (byte) 1, (m, answer) -> ended.add(m.id() + " " + answer.kind().ordinal()), this);
-        discovery = new Discovery(null, null, null, new Hosts(SETTINGS), relay);
+        discovery = new DiscoveryWatcher(null, null, null, new EndpointList(SETTINGS), relay);
     }
 
     /** All bytes of a store. */
@@ -93,19 +93,19 @@
     }
 
     /** A store that holds these bytes. */
-    public static MemoryStore store(byte[] bytes) {
-        MemoryStore store = new MemoryStore();
+    public static InMemoryJournalStore store(byte[] bytes) {
+        InMemoryJournalStore store = new InMemoryJournalStore();
         store.write(bytes, 0);
         return store;
     }
 
     void list(String list) throws IOException {
-        discovery.known(Json.read(list.getBytes(StandardCharsets.UTF_8)));
+        discovery.known(JsonValue.read(list.getBytes(StandardCharsets.UTF_8)));
     }
 
-    Answer take(String id, int cls, int tenant, long destination, String same) {
+    FinalOutcome take(String id, int cls, int tenant, long destination, String same) {
         long by = clock.now() + (cls == 0 ? 30_000 : 20_000) * Clock.MS;
-        return relay.take(new Stream.Message(
+        return relay.take(new ActiveRequest.Message(
                 id,
                 (byte) 1,
                 cls,
@@ -152,7 +152,8 @@
     }
 
     @Override
-    public UpstreamRequest send(Stream.Message message, String host, long connectBy, long answerBy, Attempt attempt) {
+    public EndpointCall send(
+            ActiveRequest.Message message, String host, long connectBy, long answerBy, AttemptListener attempt) {
         attempts.put(message.id(), attempt);
         return () -> attempt.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
     }
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -4,19 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.Answer;
 import elderseam.core.Clock;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.core.FinalOutcome;
 import elderseam.core.Handover;
 import elderseam.core.Handover.Estate;
 import elderseam.core.Handover.Out;
 import elderseam.core.Handover.Passed;
-import elderseam.core.Json;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.upgrade.Frame;
-import elderseam.upgrade.Link;
-import elderseam.upgrade.Taking;
+import elderseam.core.JsonValue;
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
+import elderseam.handover.HandoverReceiver;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
@@ -38,7 +38,7 @@
 @Timeout(30)
 class HandoverFormatTest {
     private static final String FRAMES = "handover/frames.hex";
-    private static final Frame.Give GIVE = new Frame.Give(
+    private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
             "{\"version\":3,\"zone\":\"Österreich\"}",
             new Estate(
                     new byte[] {1, -2, 3}, List.of(new Out("m1", 1, "a1", 5_000_000_000L), new Out("m2", 0, "b1", 7))),
@@ -49,13 +49,13 @@
 
     private ServerSocketChannel server;
     private SocketChannel older;
-    private Link link;
+    private HandoverChannel link;
 
     @BeforeEach
     void connect() throws IOException {
         server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                 .bind(UnixDomainSocketAddress.of(folder.resolve("handover")));
-        link = Link.connect(folder);
+        link = HandoverChannel.connect(folder);
         older = server.accept();
     }
 
@@ -67,12 +67,12 @@
     }
 
     /** Every kind of frame, and an end with every progress and status, in the order of the resource. */
-    private static List<Frame> frames() {
-        List<Frame> all =
-                new ArrayList<>(List.of(new Frame.Take(), GIVE, new Frame.Owned(), new Frame.Abandon("m1", 3)));
+    private static List<HandoverFrame> frames() {
+        List<HandoverFrame> all = new ArrayList<>(
+                List.of(new HandoverFrame.Take(), GIVE, new HandoverFrame.Owned(), new HandoverFrame.Abandon("m1", 3)));
         for (Progress p :
                 List.of(Progress.NOT_CONNECTED, Progress.PARTLY_WRITTEN, Progress.WRITTEN, Progress.ANSWERED)) {
-            all.add(new Frame.Ended(new Passed("m1", 2, "a1", false, new End(p, Status.BROKEN, 0, 0, 0))));
+            all.add(new HandoverFrame.Ended(new Passed("m1", 2, "a1", false, new End(p, Status.BROKEN, 0, 0, 0))));
         }
         for (Status s : List.of(
                 Status.DELIVERED,
@@ -85,7 +85,8 @@
                 Status.TIMED_OUT,
                 Status.ABANDONED,
                 Status.HELD)) {
-            all.add(new Frame.Ended(new Passed("m2", 5, "b1", true, new End(Progress.ANSWERED, s, 9, 0.25, 30))));
+            all.add(new HandoverFrame.Ended(
+                    new Passed("m2", 5, "b1", true, new End(Progress.ANSWERED, s, 9, 0.25, 30))));
         }
         return all;
     }
@@ -105,8 +106,8 @@
     }
 
     /** Records hold arrays, so that a Give is compared by its parts. */
-    private static void assertSame(Frame expected, Frame actual) {
-        if (expected instanceof Frame.Give e && actual instanceof Frame.Give a) {
+    private static void assertSame(HandoverFrame expected, HandoverFrame actual) {
+        if (expected instanceof HandoverFrame.Give e && actual instanceof HandoverFrame.Give a) {
             assertArrayEquals(e.estate().learned(), a.estate().learned());
             assertEquals(
                     List.of(e.list(), e.estate().out(), e.drains()),
@@ -123,7 +124,7 @@
                     FRAMES, frames().stream().map(OlderProcess::sent).toList());
         }
         List<byte[]> records = Recorded.records(FRAMES);
-        List<Frame> frames = frames();
+        List<HandoverFrame> frames = frames();
         assertEquals(frames.size(), records.size());
         for (int i = 0; i < frames.size(); i++) {
             olderSends(records.get(i));
@@ -169,20 +170,20 @@
         OlderProcess.recordIfWanted();
         List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER),
                 toOlder = Recorded.records(OlderProcess.TO_OLDER);
-        Taking taking = new Taking();
-        assertEquals(Taking.Step.WARM, taking.looked(true, false));
-        assertEquals(Taking.Step.ASK, taking.warm());
-        link.send(new Frame.Take());
+        HandoverReceiver taking = new HandoverReceiver();
+        assertEquals(HandoverReceiver.Step.WARM, taking.looked(true, false));
+        assertEquals(HandoverReceiver.Step.ASK, taking.warm());
+        link.send(new HandoverFrame.Take());
         olderReads(toOlder.get(0));
         olderSends(toNewer.get(0));
-        Frame.Give given = (Frame.Give) link.await();
-        assertEquals(Taking.Step.TAKE, taking.given(true));
+        HandoverFrame.Give given = (HandoverFrame.Give) link.await();
+        assertEquals(HandoverReceiver.Step.TAKE, taking.given(true));
         assertTakesOverAll(given.estate());
 
         CoreProcess newer = newer(Recorded.bytes(OlderProcess.JOURNAL));
         Handover handover = newer.relay.handover();
-        handover.takeOver(given.estate(), o -> link.send(new Frame.Abandon(o.id(), o.attempt())));
-        newer.discovery.takenOver(Json.read(given.list().getBytes(StandardCharsets.UTF_8)));
+        handover.takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.id(), o.attempt())));
+        newer.discovery.takenOver(JsonValue.read(given.list().getBytes(StandardCharsets.UTF_8)));
         assertEquals(given.list(), newer.discovery.list());
         List<String> breakers = new ArrayList<>();
         newer.relay.breakers(
@@ -191,26 +192,26 @@
                 List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"),
                 breakers.stream().sorted().toList());
         assertTrue(given.drains());
-        link.send(new Frame.Owned());
+        link.send(new HandoverFrame.Owned());
         olderReads(toOlder.get(1));
         newer.relay.recover(() -> 0, () -> {});
         handover.abandon("late", 0);
         olderReads(toOlder.get(2));
         for (byte[] record : toNewer.subList(1, toNewer.size())) {
             olderSends(record);
-            handover.passed(((Frame.Ended) link.await()).passed());
+            handover.passed(((HandoverFrame.Ended) link.await()).passed());
             newer.pass(0);
         }
         older.close();
         assertEquals(null, link.await());
-        assertEquals(Taking.Step.SETTLE, taking.lost());
+        assertEquals(HandoverReceiver.Step.SETTLE, taking.lost());
         handover.unheard();
         newer.pass(300 * Clock.MS);
         for (String id : List.of("lead", "copy", "late")) {
-            assertEquals(Answer.DELIVERED, newer.journal.answer(id), id);
+            assertEquals(FinalOutcome.DELIVERED, newer.journal.answer(id), id);
         }
         newer.ends("lost", CoreProcess.DELIVERED); // it may be repeated by its key, and was tried again
-        assertEquals(Answer.DELIVERED, newer.journal.answer("lost"));
+        assertEquals(FinalOutcome.DELIVERED, newer.journal.answer("lost"));
         assertEquals(newer.ended.stream().distinct().toList(), newer.ended, "no end is told twice");
     }
 }
