--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -1,12 +1,12 @@
 package elderseam.compat;
 
 import elderseam.core.Clock;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import elderseam.core.Handover;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.emulator.MemoryStore;
-import elderseam.upgrade.Frame;
+import elderseam.core.InMemoryJournalStore;
+import elderseam.handover.HandoverFrame;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -30,7 +30,7 @@
             + host("c1", "routed", 3, "SERVING") + "," + host("c2", "routed", 3, "SERVING") + ","
             + host("d1", "plain", 4, "%s") + "]}";
 
-    private final CoreProcess process = new CoreProcess(new MemoryStore(), new ManualClock(BEGAN_NS));
+    private final CoreProcess process = new CoreProcess(new InMemoryJournalStore(), new ManualClock(BEGAN_NS));
     private int number;
 
     private OlderProcess() throws IOException {
@@ -77,10 +77,10 @@
     }
 
     /** What it sends once it is asked, to a newer process that has it give up the call of "late". */
-    private List<Frame> passesOn() {
-        List<Frame> sent = new ArrayList<>();
-        Handover.Estate estate = process.relay.handover().passOn(p -> sent.add(new Frame.Ended(p)));
-        sent.add(new Frame.Give(process.discovery.list(), estate, true));
+    private List<HandoverFrame> passesOn() {
+        List<HandoverFrame> sent = new ArrayList<>();
+        Handover.Estate estate = process.relay.handover().passOn(p -> sent.add(new HandoverFrame.Ended(p)));
+        sent.add(new HandoverFrame.Give(process.discovery.list(), estate, true));
         process.ends("lead", CoreProcess.DELIVERED);
         process.relay.handover().abandon("late", 0);
         process.attempts.get("late").answeredLate(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
@@ -88,7 +88,7 @@
     }
 
     /** A frame as the link carries it, after its length. */
-    static byte[] sent(Frame frame) {
+    static byte[] sent(HandoverFrame frame) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
             frame.to(new DataOutputStream(bytes));
@@ -112,6 +112,10 @@
         Recorded.assertRecords(
                 TO_NEWER, older.passesOn().stream().map(OlderProcess::sent).toList());
         Recorded.assertRecords(
-                TO_OLDER, List.of(sent(new Frame.Take()), sent(new Frame.Owned()), sent(new Frame.Abandon("late", 0))));
+                TO_OLDER,
+                List.of(
+                        sent(new HandoverFrame.Take()),
+                        sent(new HandoverFrame.Owned()),
+                        sent(new HandoverFrame.Abandon("late", 0))));
     }
 }
--- a/src/test/java/elderseam/compat/SettingsCompatTest.java
+++ b/src/test/java/elderseam/compat/SettingsCompatTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import elderseam.core.SettingsCheck;
 import elderseam.core.SettingsMap;
-import elderseam.settings.Key;
-import elderseam.settings.Keys;
+import elderseam.core.SettingsValidator;
+import elderseam.settings.SettingKey;
+import elderseam.settings.SettingKeys;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -63,7 +63,7 @@
     @Test
     void keysOfTheSettingsFile() throws Exception {
         StringBuilder table = new StringBuilder();
-        for (Key<?> k : Keys.ALL) {
+        for (SettingKey<?> k : SettingKeys.ALL) {
             table.append(k.path())
                     .append(" = ")
                     .append(k.absent())
@@ -76,7 +76,7 @@
         RecordedText.check("settings/keys", table.toString());
     }
 
-    private static String form(Key<?> k) {
+    private static String form(SettingKey<?> k) {
         if (k.byDefault() instanceof Long) {
             Matcher m = BOUNDS.matcher(k.allowed());
             assertEquals(true, m.matches(), k.path());
@@ -124,7 +124,7 @@
                 };
         SettingsMap settings = new SettingsMap(values);
         assertNotNull(settings.settings());
-        List<String> faults = SettingsCheck.faults(settings);
+        List<String> faults = SettingsValidator.faults(settings);
         RecordedText.check(
                 "settings/relay_config",
                 "looked up:\n" + String.join("\n", asked) + "\n\nmissing, of the above:\n"
--- a/src/test/java/elderseam/compat/WireNamesCompatTest.java
+++ b/src/test/java/elderseam/compat/WireNamesCompatTest.java
@@ -1,13 +1,13 @@
 package elderseam.compat;
 
 import elderseam.core.Lifecycle;
-import elderseam.emulator.Checkers;
-import elderseam.emulator.Plan;
-import elderseam.fleet.lease.LeaseKeeper;
-import elderseam.fleet.share.Subsets;
-import elderseam.gossip.Agent;
-import elderseam.gossip.trust.Door;
-import elderseam.rules.lang.Type;
+import elderseam.fleet.lease.LeaseRequestSchedule;
+import elderseam.fleet.partition.EndpointSubsetting;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.security.PacketAuthenticator;
+import elderseam.rules.cel.Type;
+import elderseam.testkit.emulator.RuleCheckers;
+import elderseam.testkit.emulator.Scenario;
 import java.util.Arrays;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -27,17 +27,17 @@
 
     @Test
     void namesAreAsRecorded() throws Exception {
-        add("broken rule of a run", Checkers.Rule.values(), Checkers.Rule::wireName)
-                .add("limit of a kind", Plan.Limit.values(), Plan.Limit::wireName)
-                .add("fault of a trouble", Plan.Fault.values(), Plan.Fault::wireName)
-                .add("arrivals of clients", Plan.Arrivals.values(), Plan.Arrivals::wireName)
-                .add("how of a restart", Plan.How.values(), Plan.How::wireName)
-                .add("way of lab subsets", Subsets.Way.values(), Subsets.Way::wireName)
+        add("broken rule of a run", RuleCheckers.Rule.values(), RuleCheckers.Rule::wireName)
+                .add("limit of a kind", Scenario.Limit.values(), Scenario.Limit::wireName)
+                .add("fault of a trouble", Scenario.Fault.values(), Scenario.Fault::wireName)
+                .add("arrivals of clients", Scenario.Arrivals.values(), Scenario.Arrivals::wireName)
+                .add("how of a restart", Scenario.How.values(), Scenario.How::wireName)
+                .add("way of lab subsets", EndpointSubsetting.Way.values(), EndpointSubsetting.Way::wireName)
                 .add("state on the control address", Lifecycle.State.values(), Lifecycle.State::wireName)
-                .add("op of a history", LeaseKeeper.Ask.values(), LeaseKeeper.Ask::wireName)
+                .add("op of a history", LeaseRequestSchedule.Ask.values(), LeaseRequestSchedule.Ask::wireName)
                 .add("type of an expression", Type.Plain.values(), Type::toString)
-                .add("envelope dropped", Door.Drop.values(), Door.Drop::wireName)
-                .add("packet dropped", Agent.Drop.values(), Agent.Drop::wireName);
+                .add("envelope dropped", PacketAuthenticator.Drop.values(), PacketAuthenticator.Drop::wireName)
+                .add("packet dropped", GossipAgent.Drop.values(), GossipAgent.Drop::wireName);
         RecordedText.check("cli/wire_names", table.toString());
     }
 }
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -27,9 +27,9 @@
         journal = new Journal(folder, CAP, clock);
     }
 
-    private Stream.Message message(String id, int bytes, long liveS) {
+    private ActiveRequest.Message message(String id, int bytes, long liveS) {
         long until = clock.now() + liveS * S;
-        return new Stream.Message(id, (byte) 0, 1, 2, 7, until, until, false, true, "key", new byte[bytes]);
+        return new ActiveRequest.Message(id, (byte) 0, 1, 2, 7, until, until, false, true, "key", new byte[bytes]);
     }
 
     private void again() throws IOException {
@@ -39,9 +39,9 @@
 
     private void churn() throws IOException {
         for (int i = 0; i < 2_000; i++) {
-            Stream.Message m = message("churn" + i, 500, -1); // its end need not be remembered
+            ActiveRequest.Message m = message("churn" + i, 500, -1); // its end need not be remembered
             assertTrue(journal.taken(m), "no room for " + i);
-            journal.ended(m, Answer.DELIVERED, true);
+            journal.ended(m, FinalOutcome.DELIVERED, true);
             assertTrue(Files.size(folder.resolve("journal")) <= CAP);
         }
     }
@@ -62,11 +62,11 @@
         journal.sent("c");
         churn();
         again();
-        List<Stream> back = journal.unfinished(java.util.Set.of());
+        List<ActiveRequest> back = journal.unfinished(java.util.Set.of());
         assertEquals(
                 List.of("a2true", "b1false", "c1true"),
                 back.stream().map(s -> s.id() + s.attempts + s.mayHaveRun).toList());
-        Stream a = back.get(0);
+        ActiveRequest a = back.get(0);
         assertEquals(100, a.message.body().length);
         assertEquals(List.of(1, 2, "key"), List.of(a.message.cls(), a.message.tenant(), a.message.key()));
         assertTrue(Math.abs(a.keyUntil - ran) < S, "when it may have run");
@@ -76,19 +76,21 @@
     /** An end that is owed is given back until it is told; a refused one is then forgotten, others are not. */
     @Test
     void endsAreOwedUntilTold() throws IOException {
-        Stream.Message refused = message("r", 10, 60), failed = message("f", 10, 60), unheard = message("u", 10, 60);
-        for (Stream.Message m : List.of(refused, failed, unheard)) {
+        ActiveRequest.Message refused = message("r", 10, 60),
+                failed = message("f", 10, 60),
+                unheard = message("u", 10, 60);
+        for (ActiveRequest.Message m : List.of(refused, failed, unheard)) {
             journal.taken(m);
         }
-        journal.ended(refused, Answer.refused(5), true);
-        journal.ended(failed, Answer.FAILED, true);
-        journal.ended(unheard, Answer.refused(9), true);
+        journal.ended(refused, FinalOutcome.refused(5), true);
+        journal.ended(failed, FinalOutcome.FAILED, true);
+        journal.ended(unheard, FinalOutcome.refused(9), true);
         journal.told("r");
         journal.told("f");
         churn();
         again();
         assertNull(journal.answer("r"));
-        assertEquals(Answer.FAILED, journal.answer("f"));
+        assertEquals(FinalOutcome.FAILED, journal.answer("f"));
         assertEquals(
                 List.of("u9"),
                 journal.owed().entrySet().stream()
@@ -103,21 +105,21 @@
         journal.close();
         journal = new Journal(folder, 100_000_000, clock);
         for (int i = 0; i < 5_000; i++) {
-            Stream.Message m = message("m" + i, 10, -1);
+            ActiveRequest.Message m = message("m" + i, 10, -1);
             journal.taken(m);
-            journal.ended(m, Answer.DELIVERED, true);
+            journal.ended(m, FinalOutcome.DELIVERED, true);
         }
         assertNull(journal.answer("m1"));
-        Stream.Message kept = message("kept", 10, 60);
+        ActiveRequest.Message kept = message("kept", 10, 60);
         journal.taken(kept);
-        journal.ended(kept, Answer.DELIVERED, true);
-        assertEquals(Answer.DELIVERED, journal.answer("kept"));
+        journal.ended(kept, FinalOutcome.DELIVERED, true);
+        assertEquals(FinalOutcome.DELIVERED, journal.answer("kept"));
     }
 
     /** What is full refuses, and has room again once something ended. */
     @Test
     void aFullJournalHasRoomAgain() throws IOException {
-        Stream.Message first = message("m0", 20_000, -1);
+        ActiveRequest.Message first = message("m0", 20_000, -1);
         journal.taken(first);
         int taken = 1;
         while (journal.taken(message("m" + taken, 20_000, 60))) {
@@ -125,16 +127,16 @@
         }
         assertEquals(4, taken);
         assertTrue(journal.sent("m1"), "bookkeeping still has room");
-        journal.ended(first, Answer.DELIVERED, true);
+        journal.ended(first, FinalOutcome.DELIVERED, true);
         assertTrue(journal.taken(message("x", 20_000, 60)));
         try (var files = Files.list(folder)) {
             assertTrue(files.mapToLong(f -> f.toFile().length()).sum() <= CAP);
         }
     }
 
-    private Stream.Message keyed(String id, String same, long liveS) {
-        Stream.Message m = message(id, 50, liveS);
-        return new Stream.Message(
+    private ActiveRequest.Message keyed(String id, String same, long liveS) {
+        ActiveRequest.Message m = message(id, 50, liveS);
+        return new ActiveRequest.Message(
                 id,
                 m.front(),
                 m.cls(),
@@ -153,18 +155,18 @@
     @Test
     void keysComeBackAsTheyWere() throws IOException {
         assertTrue(journal.scheme("s0", new byte[300]) && journal.scheme("s1", new byte[300]));
-        Stream.Message delivered = keyed("d", "s1:d", 60),
+        ActiveRequest.Message delivered = keyed("d", "s1:d", 60),
                 refused = keyed("r", "s1:r", 60),
                 pending = keyed("p", "s1:p", 60);
-        for (Stream.Message m : List.of(delivered, refused, pending)) {
+        for (ActiveRequest.Message m : List.of(delivered, refused, pending)) {
             assertTrue(journal.taken(m));
         }
         assertTrue(journal.joined(keyed("copy", "s1:p", 60)));
-        journal.ended(delivered, Answer.DELIVERED, true);
-        journal.ended(refused, Answer.refused(1), false);
+        journal.ended(delivered, FinalOutcome.DELIVERED, true);
+        journal.ended(refused, FinalOutcome.refused(1), false);
         assertTrue(journal.scheme("s2", new byte[400]));
         for (int round = 0; round < 3; round++) {
-            assertEquals(Answer.DELIVERED, journal.answerOf("s1:d"));
+            assertEquals(FinalOutcome.DELIVERED, journal.answerOf("s1:d"));
             assertNull(journal.answerOf("s1:r"));
             assertNull(journal.answerOf("s1:p"));
             assertEquals(
@@ -181,9 +183,9 @@
             }
             again();
         }
-        journal.ended(pending, Answer.FAILED, false);
-        journal.ended(keyed("copy", "s1:p", 60), Answer.FAILED, false);
-        assertEquals(Answer.FAILED, journal.answerOf("s1:p"));
+        journal.ended(pending, FinalOutcome.FAILED, false);
+        journal.ended(keyed("copy", "s1:p", 60), FinalOutcome.FAILED, false);
+        assertEquals(FinalOutcome.FAILED, journal.answerOf("s1:p"));
         assertTrue(journal.joined().isEmpty());
     }
 
@@ -191,9 +193,9 @@
     @Test
     void aSchemeIsForgottenWithItsLastKey() throws IOException {
         assertTrue(journal.scheme("old", new byte[20_000]));
-        Stream.Message m = keyed("m", "old:1", -1);
+        ActiveRequest.Message m = keyed("m", "old:1", -1);
         assertTrue(journal.taken(m));
-        journal.ended(m, Answer.DELIVERED, false);
+        journal.ended(m, FinalOutcome.DELIVERED, false);
         assertTrue(journal.scheme("new", new byte[10]));
         assertEquals(java.util.Set.of("new"), journal.schemes().keySet());
         assertNull(journal.answerOf("old:1"));
--- a/src/test/java/elderseam/core/RecoveryTest.java
+++ b/src/test/java/elderseam/core/RecoveryTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.Recovery.Stage;
-import elderseam.module.Sender.Effect;
-import elderseam.module.Sender.MessageClass;
+import elderseam.policy.Sender.Effect;
+import elderseam.policy.Sender.MessageClass;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -22,9 +22,9 @@
         return new MessageClass(effect, false, false, S, 10 * S, 1, 0, S);
     }
 
-    private static Stream stream(String id, int cls, long deadline, boolean mayHaveRun, long keyUntil) {
-        Stream s = new Stream(
-                new Stream.Message(id, (byte) 0, cls, 0, 1, deadline, deadline, false, true, "", new byte[0]));
+    private static ActiveRequest stream(String id, int cls, long deadline, boolean mayHaveRun, long keyUntil) {
+        ActiveRequest s = new ActiveRequest(
+                new ActiveRequest.Message(id, (byte) 0, cls, 0, 1, deadline, deadline, false, true, "", new byte[0]));
         s.mayHaveRun = mayHaveRun;
         s.keyUntil = keyUntil;
         return s;
@@ -53,22 +53,22 @@
     /** 700 streams: the known ends first, then by how soon their time is up; each once, and stages never mixed. */
     @Test
     void mostUrgentFirstAndEachOnce() {
-        List<Stream> left = new ArrayList<>();
+        List<ActiveRequest> left = new ArrayList<>();
         for (int i = 0; i < 700; i++) {
             left.add(stream("m" + i, i % 3, NOW + (i - 300) * 10 * Clock.MS, i % 7 == 0, NOW));
         }
         Collections.shuffle(left, new Random(1));
         Recovery recovery = new Recovery(left, CLASSES, 40, NOW);
-        List<Stream> fed = new ArrayList<>();
+        List<ActiveRequest> fed = new ArrayList<>();
         int stages = 0;
         for (Stage stage = null; recovery.stage() != Stage.DONE; ) {
             stages += recovery.stage() == stage ? 0 : 1;
             stage = recovery.stage();
-            List<Stream> portion = recovery.next();
+            List<ActiveRequest> portion = recovery.next();
             assertTrue(
                     !portion.isEmpty() && portion.size() <= (stage == Stage.ENDS ? 256 : 40),
                     "portion of " + portion.size());
-            for (Stream s : portion) {
+            for (ActiveRequest s : portion) {
                 assertEquals(stage == Stage.ENDS, Recovery.endKnown(s, CLASSES, NOW), s.id());
             }
             if (stage == Stage.OTHERS || fed.isEmpty()) {
@@ -86,14 +86,14 @@
             recovery.took(Clock.MS);
         }
         assertEquals(2, stages);
-        assertEquals(700, fed.stream().map(Stream::id).distinct().count());
+        assertEquals(700, fed.stream().map(ActiveRequest::id).distinct().count());
         assertEquals(List.of(), recovery.next());
     }
 
     /** Portions that keep the thread for long shrink, to no less than a few; short ones grow. */
     @Test
     void portionsFollowTheTimeTheyTake() {
-        List<Stream> left = new ArrayList<>();
+        List<ActiveRequest> left = new ArrayList<>();
         for (int i = 0; i < 2_000; i++) {
             left.add(stream("m" + i, 0, NOW - 1, false, 0));
         }
--- a/src/test/java/elderseam/core/RelayTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -5,11 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.emulator.MemoryStore;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.policy.Sender;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -23,16 +22,16 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The core without any wire. */
-class RelayTest {
+class RequestDispatcherTest {
     @TempDir
     Path folder;
 
     private final Clock clock = new Clock();
     private final List<Runnable> timers = new ArrayList<>(), soon = new ArrayList<>();
     private final List<Consumer<End>> out = new ArrayList<>();
-    private final List<Attempt> attempts = new ArrayList<>();
+    private final List<AttemptListener> attempts = new ArrayList<>();
     private final List<String> ended = new ArrayList<>();
-    private Relay relay;
+    private RequestDispatcher relay;
     private boolean late;
 
     @BeforeEach
@@ -42,11 +41,11 @@
     }
 
     /** One more on the same folder, as the next process has it. */
-    private Relay another() throws Exception {
+    private RequestDispatcher another() throws Exception {
         return another(new Journal(folder, 1_000_000, clock));
     }
 
-    private Relay another(Journal journal) {
+    private RequestDispatcher another(Journal journal) {
         Sender.Settings settings = new SettingsMap(Map.of(
                         "discovery",
                         "ask",
@@ -65,7 +64,7 @@
                         "services.0.giveUpNs",
                         "9000000000"))
                 .settings();
-        Relay relay = new Relay(settings, 1, journal, clock, new Loop() {
+        RequestDispatcher relay = new RequestDispatcher(settings, 1, journal, clock, new EventLoop() {
             @Override
             public void at(long time, Runnable task) {
                 (time <= clock.now() ? soon : timers).add(task);
@@ -81,9 +80,10 @@
                 return late;
             }
         });
-        relay.front((byte) 0, (m, answer) -> ended.add(m.id() + " " + answer.kind()), new Upstream() {
+        relay.front((byte) 0, (m, answer) -> ended.add(m.id() + " " + answer.kind()), new AttemptSender() {
             @Override
-            public UpstreamRequest send(Stream.Message m, String host, long connectBy, long answerBy, Attempt attempt) {
+            public EndpointCall send(
+                    ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
                 out.add(end -> {
                     attempt.ended(end);
                     settle();
@@ -105,9 +105,9 @@
         due.forEach(Runnable::run);
     }
 
-    private Answer take(String id) {
+    private FinalOutcome take(String id) {
         long by = clock.now() + 9_000 * Clock.MS;
-        return relay.take(new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, true, "", new byte[0]));
+        return relay.take(new ActiveRequest.Message(id, (byte) 0, 0, -1, 1, by, by, false, true, "", new byte[0]));
     }
 
     /** A tick that comes early must leave one timer, not one more for each: they would add up for ever. */
@@ -135,8 +135,9 @@
     @Test
     void anUnknownDestinationIsRefused() throws Exception {
         long by = clock.now() + 9_000 * Clock.MS;
-        Answer answer = relay.take(new Stream.Message("x", (byte) 0, 0, -1, 99, by, by, false, true, "", new byte[0]));
-        assertEquals(Answer.Kind.REFUSED, answer.kind());
+        FinalOutcome answer =
+                relay.take(new ActiveRequest.Message("x", (byte) 0, 0, -1, 99, by, by, false, true, "", new byte[0]));
+        assertEquals(FinalOutcome.Kind.REFUSED, answer.kind());
         assertEquals(0, Files.size(folder.resolve("journal")));
         relay.hosts(Sender.ListKind.CHANGES, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.GONE, 100)));
         assertNull(take("y"), "its last host left a moment ago: another may follow");
@@ -150,11 +151,11 @@
         assertEquals(1, out.size());
         out.get(0).accept(End.unanswered(Progress.WRITTEN, Status.BROKEN));
         assertEquals(List.of("a FAILED"), ended);
-        assertEquals(Answer.FAILED, take("a"));
+        assertEquals(FinalOutcome.FAILED, take("a"));
         assertNull(take("b"));
         out.get(1).accept(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
         assertEquals(List.of("a FAILED", "b DELIVERED"), ended);
-        assertEquals(Answer.DELIVERED, take("b"));
+        assertEquals(FinalOutcome.DELIVERED, take("b"));
         assertEquals(0, relay.held() + relay.out());
     }
 
@@ -165,12 +166,12 @@
     @Test
     void anAttemptTheJournalCouldNotRecordBlamesNoHost() throws Exception {
         int[] writes = new int[1]; // so many more succeed
-        MemoryStore memory = new MemoryStore();
+        InMemoryJournalStore memory = new InMemoryJournalStore();
         relay = another(new Journal(
                 new JournalStore() {
                     @Override
                     public JournalStore aside(String name) {
-                        return new MemoryStore();
+                        return new InMemoryJournalStore();
                     }
 
                     public long length() {
@@ -226,8 +227,8 @@
     void noRoomInTheJournalRefusesAtOnce() throws Exception {
         relay = another(new Journal(Files.createDirectory(folder.resolve("small")), 1_000, clock));
         relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
-        Answer answer = take("a");
-        assertEquals(Answer.Kind.REFUSED, answer.kind());
+        FinalOutcome answer = take("a");
+        assertEquals(FinalOutcome.Kind.REFUSED, answer.kind());
         assertTrue(answer.againNs() > 0, "it says when to come back");
         assertEquals(0, out.size());
         assertEquals(0, relay.held());
@@ -250,7 +251,7 @@
     void aRestartSendsNoOnceOnlyMessageThatMayHaveRun() throws Exception {
         take("a");
         assertEquals(1, out.size());
-        Relay next = another();
+        RequestDispatcher next = another();
         next.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
         next.recover(() -> 0, () -> {});
         settle();
@@ -309,8 +310,8 @@
         Handover.Estate estate = relay.handover().passOn(told::add);
         assertEquals(2, estate.out().size());
         assertFalse(attempts.get(0).mayLeave(), "what has not left must not any more");
-        assertEquals(Answer.Kind.REFUSED, take("c").kind());
-        Relay next = another();
+        assertEquals(FinalOutcome.Kind.REFUSED, take("c").kind());
+        RequestDispatcher next = another();
         List<String> abandoned = new ArrayList<>();
         next.handover().takeOver(estate, o -> abandoned.add(o.id()));
         next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
@@ -345,7 +346,7 @@
         assertNull(take("b"));
         assertEquals(2, out.size());
         out.get(1).accept(DELIVERED);
-        Relay next = another();
+        RequestDispatcher next = another();
         next.recover(() -> 0, () -> {});
         assertEquals(0, next.held());
         assertEquals(List.of("a DELIVERED", "b DELIVERED"), ended);
@@ -354,8 +355,8 @@
     /** A ban is on disk, and whatever the list says the module obeys it. */
     @Test
     void aBanOutlastsListAndProcess() throws Exception {
-        assertEquals(Relay.Detaching.UNKNOWN, relay.detach("never", true));
-        assertEquals(Relay.Detaching.DONE, relay.detach("h", true));
+        assertEquals(RequestDispatcher.Detaching.UNKNOWN, relay.detach("never", true));
+        assertEquals(RequestDispatcher.Detaching.DONE, relay.detach("h", true));
         relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
         assertNull(take("a"));
         assertEquals(0, out.size());
@@ -364,8 +365,8 @@
         relay.recover(() -> 0, () -> {});
         assertEquals(0, out.size());
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=1"));
-        assertEquals(Relay.Detaching.DONE, relay.detach("h", false));
-        assertEquals(Relay.Detaching.DONE, relay.detach("h", false));
+        assertEquals(RequestDispatcher.Detaching.DONE, relay.detach("h", false));
+        assertEquals(RequestDispatcher.Detaching.DONE, relay.detach("h", false));
         settle();
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=0"));
         relay = another();
@@ -385,10 +386,11 @@
         assertEquals(1, soon.size());
     }
 
-    private Answer take(String id, String same, String... also) {
+    private FinalOutcome take(String id, String same, String... also) {
         long by = clock.now() + 9_000 * Clock.MS;
         return relay.take(
-                new Stream.Message(id, (byte) 0, 0, -1, 1, by, by, false, false, "", new byte[0], same), List.of(also));
+                new ActiveRequest.Message(id, (byte) 0, 0, -1, 1, by, by, false, false, "", new byte[0], same),
+                List.of(also));
     }
 
     /** Those with one key: one call; its end is each one's end, and a later one's at once. */
@@ -403,8 +405,8 @@
         assertEquals(4, relay.held());
         out.get(0).accept(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
         assertEquals(List.of("a DELIVERED", "b DELIVERED", "c DELIVERED"), ended);
-        assertEquals(Answer.DELIVERED, take("d", "s:1"));
-        assertEquals(Answer.DELIVERED, take("e", "u:1", "s:1"));
+        assertEquals(FinalOutcome.DELIVERED, take("d", "s:1"));
+        assertEquals(FinalOutcome.DELIVERED, take("e", "u:1", "s:1"));
         assertTrue(relay.knows("s:1", List.of()) && relay.knows("b") && !relay.knows("s:3", List.of()));
         assertEquals(2, out.size());
     }
@@ -415,8 +417,8 @@
         for (int i = 0; i < 64; i++) {
             assertNull(take("m" + i, "s:1"));
         }
-        assertEquals(Answer.Kind.REFUSED, take("above", "s:1").kind());
-        assertEquals(Answer.Kind.REFUSED, take("another", "s:2").kind());
+        assertEquals(FinalOutcome.Kind.REFUSED, take("above", "s:1").kind());
+        assertEquals(FinalOutcome.Kind.REFUSED, take("another", "s:2").kind());
         out.get(0).accept(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0));
         assertEquals(64, ended.size());
         assertEquals(0, relay.held());
@@ -424,7 +426,7 @@
 
     // ---------------------------------------------------------------- what was learned, over a crash
 
-    private Sender.Standing standing(Relay of) {
+    private Sender.Standing standing(RequestDispatcher of) {
         Sender.Standing[] s = new Sender.Standing[1];
         of.breakers((destination, b) -> s[0] = b.standing());
         return s[0];
@@ -442,8 +444,8 @@
     }
 
     /** The next process on the folder; {@code list}: what it knows of hosts. */
-    private Relay next() throws Exception {
-        Relay next = another();
+    private RequestDispatcher next() throws Exception {
+        RequestDispatcher next = another();
         next.handover().remember();
         next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
         return next;
@@ -462,15 +464,16 @@
         byte[] kept = Files.readAllBytes(file);
         byte[] torn = kept.clone();
         torn[40] ^= 1;
-        for (byte[] bytes : List.of(torn, new byte[0], java.util.Arrays.copyOf(kept, 30), new byte[Learned.MOST + 1])) {
+        for (byte[] bytes :
+                List.of(torn, new byte[0], java.util.Arrays.copyOf(kept, 30), new byte[PolicySnapshotStore.MOST + 1])) {
             Files.write(file, bytes);
             assertEquals(Sender.Standing.CLOSED, standing(next()), bytes.length + " bytes");
         }
-        JournalStore store = new MemoryStore();
-        new Learned(store, 7).keep(new byte[] {1, 2, 3});
-        assertEquals(3, new Learned(store, 7).kept().length);
-        assertNull(new Learned(store, 8).kept());
-        new Learned(store, 7).keep(new byte[Learned.MOST]);
-        assertEquals(3, new Learned(store, 7).kept().length, "one that is too long is left out");
+        JournalStore store = new InMemoryJournalStore();
+        new PolicySnapshotStore(store, 7).keep(new byte[] {1, 2, 3});
+        assertEquals(3, new PolicySnapshotStore(store, 7).kept().length);
+        assertNull(new PolicySnapshotStore(store, 8).kept());
+        new PolicySnapshotStore(store, 7).keep(new byte[PolicySnapshotStore.MOST]);
+        assertEquals(3, new PolicySnapshotStore(store, 7).kept().length, "one that is too long is left out");
     }
 }
--- a/src/test/java/elderseam/core/LatenessTest.java
+++ b/src/test/java/elderseam/core/StallDetectorTest.java
@@ -7,9 +7,9 @@
 import org.junit.jupiter.api.Test;
 
 /** When a thread counts as late, and what time it was away. */
-class LatenessTest {
+class StallDetectorTest {
     private static final long START = -7_000_000_000L; // nanoTime may be negative
-    private final Lateness lateness = new Lateness(START);
+    private final StallDetector lateness = new StallDetector(START);
 
     @Test
     void aBeatInTimeOrALittleLateIsNothing() {
@@ -42,7 +42,7 @@
     void pausesAddUp() {
         long due = lateness.beat(START);
         lateness.late(due + 100 * Clock.MS);
-        lateness.late(due + 100 * Clock.MS + Lateness.BEAT_NS + 300 * Clock.MS);
+        lateness.late(due + 100 * Clock.MS + StallDetector.BEAT_NS + 300 * Clock.MS);
         assertEquals(400 * Clock.MS, lateness.caughtUp());
         assertEquals(300 * Clock.MS, lateness.longest());
     }
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -9,8 +9,7 @@
 import elderseam.compat.ManualClock;
 import elderseam.compat.OlderProcess;
 import elderseam.compat.Recorded;
-import elderseam.emulator.MemoryStore;
-import elderseam.upgrade.Owner;
+import elderseam.handover.OwnershipLock;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -45,8 +44,8 @@
         return records;
     }
 
-    private Stream.Message message(String id, int number, String same) {
-        return new Stream.Message(
+    private ActiveRequest.Message message(String id, int number, String same) {
+        return new ActiveRequest.Message(
                 id,
                 (byte) number,
                 number + 1,
@@ -64,22 +63,22 @@
     /** Every type of record, and every kind of end. */
     private void write(Journal journal) {
         assertTrue(journal.scheme("orders", SCHEME));
-        Stream.Message keyed = message("keyed", 1, "orders:7");
+        ActiveRequest.Message keyed = message("keyed", 1, "orders:7");
         assertTrue(journal.taken(keyed) && journal.sent("keyed"));
         clock.pass(S);
         journal.result("keyed", true);
         assertTrue(journal.sent("keyed") && journal.joined(message("copy", 2, "orders:7")));
-        Stream.Message[] more = new Stream.Message[5];
+        ActiveRequest.Message[] more = new ActiveRequest.Message[5];
         for (int i = 0; i < more.length; i++) {
             more[i] = message("m" + i, 3 + i, "");
             assertTrue(journal.taken(more[i]) && journal.sent("m" + i));
             journal.result("m" + i, false);
         }
-        journal.ended(more[0], Answer.DELIVERED, true);
-        journal.ended(more[1], Answer.refused(1_234), true);
-        journal.ended(more[2], Answer.FAILED, true);
+        journal.ended(more[0], FinalOutcome.DELIVERED, true);
+        journal.ended(more[1], FinalOutcome.refused(1_234), true);
+        journal.ended(more[2], FinalOutcome.FAILED, true);
         journal.told("m2");
-        journal.ended(more[3], Answer.OVER, true);
+        journal.ended(more[3], FinalOutcome.OVER, true);
         assertTrue(journal.detach("a1", true) && journal.detach("b1", true) && journal.detach("b1", false));
     }
 
@@ -97,13 +96,13 @@
                 .forEach((m, a) ->
                         known.add("owed " + m.id() + " " + m.front() + " " + clock.toWall(m.rememberUntil())));
         for (int i = 0; i < 5; i++) {
-            Answer a = journal.answer("m" + i);
+            FinalOutcome a = journal.answer("m" + i);
             known.add("answer m" + i + " " + (a == null ? "none" : a.kind().ordinal() + " " + a.againNs()));
         }
         return known;
     }
 
-    private String text(Stream.Message m) {
+    private String text(ActiveRequest.Message m) {
         return String.join(
                 " ",
                 m.id(),
@@ -131,7 +130,7 @@
 
     @Test
     void theJournalIsWrittenAsBefore() throws IOException {
-        MemoryStore store = new MemoryStore();
+        InMemoryJournalStore store = new InMemoryJournalStore();
         Journal journal = new Journal(store, CAP, clock);
         write(journal);
         Recorded.assertRecords(RECORDS, split(CoreProcess.bytes(store)));
@@ -141,12 +140,12 @@
 
     @Test
     void theJournalIsReadAsBefore() throws IOException {
-        write(new Journal(new MemoryStore(), CAP, clock)); // moves the clock
+        write(new Journal(new InMemoryJournalStore(), CAP, clock)); // moves the clock
         Set<Byte> types = new TreeSet<>();
         for (String name : List.of(RECORDS, COMPACTED)) {
             Recorded.records(name).forEach(r -> types.add(r[JournalRecords.HEAD]));
             Recorded.assertLines("journal/known.txt", known(read(name)));
-            MemoryStore store = CoreProcess.store(Recorded.bytes(name));
+            InMemoryJournalStore store = CoreProcess.store(Recorded.bytes(name));
             compact(new Journal(store, CAP, clock));
             Recorded.assertRecords(COMPACTED, split(CoreProcess.bytes(store)));
         }
@@ -155,9 +154,9 @@
 
     @Test
     void theFilesHaveTheirNames(@TempDir Path folder) throws IOException {
-        new Owner(folder).take();
+        new OwnershipLock(folder).take();
         Journal journal = new Journal(folder, CAP, clock);
-        new Learned(journal.aside("learned"), SHAPE).keep(new byte[1]);
+        new PolicySnapshotStore(journal.aside("learned"), SHAPE).keep(new byte[1]);
         journal.close();
         try (java.util.stream.Stream<Path> files = Files.list(folder)) {
             assertEquals(
@@ -169,7 +168,7 @@
     /** Values of every sort, by themselves. */
     @Test
     void valuesAreWrittenAndReadAsBefore() throws IOException {
-        LedgerBytes.Writer out = new LedgerBytes.Writer(clock);
+        PolicySnapshotCodec.Writer out = new PolicySnapshotCodec.Writer(clock);
         out.whole(-7);
         out.real(0.1);
         out.time(clock.now() + 5);
@@ -179,7 +178,7 @@
         out.text("Österreich");
         Recorded.assertBytes(VALUES, out.bytes());
         clock.pass(3 * S);
-        LedgerBytes.Reader in = new LedgerBytes.Reader(Recorded.bytes(VALUES), clock, true);
+        PolicySnapshotCodec.Reader in = new PolicySnapshotCodec.Reader(Recorded.bytes(VALUES), clock, true);
         assertEquals(3 * S, in.agoNs);
         assertEquals(-7, in.whole(0));
         assertEquals(0.1, in.real(0));
@@ -195,13 +194,13 @@
     void whatWasLearnedOutlastsAnUpgradeOfTheProgram() throws IOException {
         OlderProcess.recordIfWanted();
         byte[] file = Recorded.bytes(OlderProcess.LEARNED);
-        byte[] kept = new Learned(CoreProcess.store(file), SHAPE).kept();
-        assertNull(new Learned(CoreProcess.store(file), SHAPE + 1).kept());
-        MemoryStore again = new MemoryStore();
-        new Learned(again, SHAPE).keep(kept);
+        byte[] kept = new PolicySnapshotStore(CoreProcess.store(file), SHAPE).kept();
+        assertNull(new PolicySnapshotStore(CoreProcess.store(file), SHAPE + 1).kept());
+        InMemoryJournalStore again = new InMemoryJournalStore();
+        new PolicySnapshotStore(again, SHAPE).keep(kept);
         assertArrayEquals(file, CoreProcess.bytes(again));
 
-        MemoryStore store = new MemoryStore();
+        InMemoryJournalStore store = new InMemoryJournalStore();
         store.aside("learned").write(file, 0);
         long keptAt = java.nio.ByteBuffer.wrap(kept).getLong();
         CoreProcess next = new CoreProcess(store, new ManualClock(keptAt + 2 * S));
--- a/src/test/java/elderseam/figures/GossipFigures.java
+++ b/src/test/java/elderseam/figures/GossipMeasurements.java
@@ -1,24 +1,24 @@
 package elderseam.figures;
 
-import elderseam.gossip.trial.Service;
+import elderseam.testkit.gossip.SimulatedService;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 
 /** The table of docs/gossip.md: service with gossip off and on, twenty seeds, honest and lying. Half a minute on eight cores. */
-public final class GossipFigures {
+public final class GossipMeasurements {
     private static final int SEEDS = 20;
     private static final int[][] FLEETS = {{4, 0}, {16, 0}, {4, 1}, {16, 1}, {5, 1}, {5, 2}, {5, 3}};
 
-    private GossipFigures() {}
+    private GossipMeasurements() {}
 
     public static void main(String[] args) {
         System.out.println(
                 "dispatchers lying | service off on, worst and median difference | failed calls median (worst) off on"
                         + " | refusals median (worst) off on | calls while down off on | felled off on | rules broken");
         for (int[] f : FLEETS) {
-            List<Service> off = runs(f, false), on = runs(f, true);
+            List<SimulatedService> off = runs(f, false), on = runs(f, true);
             List<Double> differences = new ArrayList<>();
             for (int i = 0; i < SEEDS; i++) {
                 differences.add(on.get(i).service() - off.get(i).service());
@@ -32,34 +32,34 @@
                     mean(on),
                     differences.get(0),
                     (differences.get(SEEDS / 2 - 1) + differences.get(SEEDS / 2)) / 2,
-                    spread(off, Service::failedCalls),
-                    spread(on, Service::failedCalls),
-                    spread(off, Service::refusals),
-                    spread(on, Service::refusals),
-                    sum(off, Service::callsWhileDown),
-                    sum(on, Service::callsWhileDown),
-                    sum(off, Service::felled),
-                    sum(on, Service::felled),
-                    sum(off, Service::broken) + sum(on, Service::broken));
+                    spread(off, SimulatedService::failedCalls),
+                    spread(on, SimulatedService::failedCalls),
+                    spread(off, SimulatedService::refusals),
+                    spread(on, SimulatedService::refusals),
+                    sum(off, SimulatedService::callsWhileDown),
+                    sum(on, SimulatedService::callsWhileDown),
+                    sum(off, SimulatedService::felled),
+                    sum(on, SimulatedService::felled),
+                    sum(off, SimulatedService::broken) + sum(on, SimulatedService::broken));
         }
     }
 
-    private static List<Service> runs(int[] fleet, boolean gossip) {
+    private static List<SimulatedService> runs(int[] fleet, boolean gossip) {
         return IntStream.rangeClosed(1, SEEDS)
                 .parallel()
-                .mapToObj(seed -> Service.run(fleet[0], 0, fleet[1], gossip, seed))
+                .mapToObj(seed -> SimulatedService.run(fleet[0], 0, fleet[1], gossip, seed))
                 .toList();
     }
 
-    private static double mean(List<Service> all) {
-        return sum(all, Service::service) / SEEDS;
+    private static double mean(List<SimulatedService> all) {
+        return sum(all, SimulatedService::service) / SEEDS;
     }
 
-    private static double sum(List<Service> all, ToDoubleFunction<Service> what) {
+    private static double sum(List<SimulatedService> all, ToDoubleFunction<SimulatedService> what) {
         return all.stream().mapToDouble(what).sum();
     }
 
-    private static String spread(List<Service> all, ToDoubleFunction<Service> what) {
+    private static String spread(List<SimulatedService> all, ToDoubleFunction<SimulatedService> what) {
         double[] sorted = all.stream().mapToDouble(what).sorted().toArray();
         return String.format("%.0f (%.0f)", (sorted[SEEDS / 2 - 1] + sorted[SEEDS / 2]) / 2, sorted[SEEDS - 1]);
     }
--- a/src/test/java/elderseam/figures/StartFigures.java
+++ b/src/test/java/elderseam/figures/StartupMeasurements.java
@@ -1,8 +1,8 @@
 package elderseam.figures;
 
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
-import elderseam.core.Stream;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -24,13 +24,13 @@
  * process for part of each 10 ms; it is bound to one core where the system has taskset. Run from the root after a build:
  * {@code make figures}, or with words CORES,... MESSAGES,... ROUNDS [json].
  */
-public final class StartFigures {
+public final class StartupMeasurements {
     private static final int PERIOD_MS = 10;
 
     /** One start. {@code awayMs}: the longest silence that the program told of itself, 0 below 50 ms. */
     private record Start(double cores, int messages, long readyMs, long awayMs, long cpuMs, long peakKb) {}
 
-    private StartFigures() {}
+    private StartupMeasurements() {}
 
     public static void main(String[] args) throws Exception {
         if (args.length > 4 || args.length > 0 && args[0].equals("--help")) {
@@ -180,7 +180,7 @@
         try (Journal journal = new Journal(state, 3_000_000, clock)) {
             for (int i = 0; i < messages; i++) {
                 long by = clock.now() + (i % 4 == 0 ? -500 + i : 15_000) * Clock.MS;
-                Stream.Message m = new Stream.Message(
+                ActiveRequest.Message m = new ActiveRequest.Message(
                         "m" + i, (byte) 0, i % 2 * 2, 0, 1 + i % 8, by, by, false, true, "k" + i, new byte[300]);
                 journal.taken(m);
                 if (i % 4 == 1) {
@@ -202,8 +202,9 @@
                     .append(i)
                     .append(",\"state\":\"SERVING\",\"weight\":50.0,\"started_ms\":0}");
         }
-        String settings = new String(
-                        StartFigures.class.getResourceAsStream("/settings.json").readAllBytes())
+        String settings = new String(StartupMeasurements.class
+                        .getResourceAsStream("/settings.json")
+                        .readAllBytes())
                 .replace("\"mostHeld\":64", "\"mostHeld\":800");
         return "{\"name\":\"n1\",\"seed\":\"1\",\"discovery\":\"" + address(platform)
                 + "\",\"limits\":{\"sockets\":384,"
--- a/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -16,10 +16,10 @@
 class VersionFolderCompatTest {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RESOURCE = "version/folder";
-    private static final Version FIRST = Version.of(
+    private static final ConfigurationVersion FIRST = ConfigurationVersion.of(
                     1, 0, "n1", "the first", Map.of("settings.ini", "[discovery]\nrest = ä:7\n"))
             .effective(1_230);
-    private static final Version SECOND = Version.of(
+    private static final ConfigurationVersion SECOND = ConfigurationVersion.of(
                     2,
                     1,
                     "n2",
@@ -40,7 +40,7 @@
     }
 
     private static Path write(Path at) throws IOException {
-        VersionFolder kept = new VersionFolder(at);
+        VersionStore kept = new VersionStore(at);
         kept.keep(List.of(FIRST, SECOND));
         kept.acting(FIRST);
         kept.texts(FIRST);
@@ -50,7 +50,7 @@
 
     @Test
     void theRecordedFolderIsRead() throws IOException {
-        VersionFolder kept = new VersionFolder(RecordedBytes.copy(recorded(), folder));
+        VersionStore kept = new VersionStore(RecordedBytes.copy(recorded(), folder));
         assertEquals(FIRST, kept.acting());
         assertEquals(List.of(FIRST, SECOND), kept.all());
         kept.keep(List.of(SECOND));
@@ -81,6 +81,6 @@
                     "version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes("UTF-8"));
         }
         assertEquals(SECOND.texts(), VersionContent.read(file));
-        assertEquals(SECOND.hash(), Version.hash(VersionContent.read(file)));
+        assertEquals(SECOND.hash(), ConfigurationVersion.hash(VersionContent.read(file)));
     }
 }
--- a/src/test/java/elderseam/fleet/config/VersionTableTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionTableTest.java
@@ -107,13 +107,13 @@
 
     @Test
     void aMemberActsAtTheInstantOfEffectAndDoubtsAfterT() {
-        VersionRule rule = new VersionRule(Version.NONE, T, 0);
+        VersionActivation rule = new VersionActivation(ConfigurationVersion.NONE, T, 0);
         assertTrue(rule.inDoubt(0), "until the first confirmation");
-        rule.confirmed(0, 5 * MS, new VersionTable.Outcome("", 0, 100), Version.NONE);
+        rule.confirmed(0, 5 * MS, new VersionTable.Outcome("", 0, 100), ConfigurationVersion.NONE);
         assertFalse(rule.inDoubt(T * MS - 1));
         assertTrue(rule.inDoubt(T * MS), "counted from the sending");
-        Version one = Version.of(1, 0, "a", "why", A).effective(2_000);
-        rule.confirmed(500 * MS, 510 * MS, new VersionTable.Outcome("", 1, 600), Version.NONE);
+        ConfigurationVersion one = ConfigurationVersion.of(1, 0, "a", "why", A).effective(2_000);
+        rule.confirmed(500 * MS, 510 * MS, new VersionTable.Outcome("", 1, 600), ConfigurationVersion.NONE);
         assertTrue(rule.inDoubt(T * MS), "the group has one that is not here yet: that confirms nothing");
         rule.confirmed(900 * MS, 910 * MS, new VersionTable.Outcome("", 1, 1_000), one);
         assertFalse(rule.tick(1_909 * MS));
@@ -121,8 +121,8 @@
         assertTrue(rule.tick(1_910 * MS), "1,000 ms after the answer that showed 1,000");
         assertEquals(1, rule.acting().number());
         assertTrue(rule.inDoubt(1_910 * MS), "and no word since");
-        VersionRule slow = new VersionRule(Version.NONE, T, 0.05);
-        slow.confirmed(0, 0, new VersionTable.Outcome("", 0, 0), Version.NONE);
+        VersionActivation slow = new VersionActivation(ConfigurationVersion.NONE, T, 0.05);
+        slow.confirmed(0, 0, new VersionTable.Outcome("", 0, 0), ConfigurationVersion.NONE);
         assertTrue(slow.inDoubt((long) (T * MS * 0.95 / 1.05) + 1), "less what clocks may be off");
     }
 
@@ -140,8 +140,8 @@
         Files.writeString(file, "[rules]\nfiles = r.rules /etc/own.rules\n");
         Map<String, String> texts = VersionContent.read(file);
         assertEquals(2, texts.size(), "its settings and the one file without a folder");
-        VersionFolder kept = new VersionFolder(folder.resolve("kept"));
-        Version v = Version.of(1, 0, "a", "why", texts);
+        VersionStore kept = new VersionStore(folder.resolve("kept"));
+        ConfigurationVersion v = ConfigurationVersion.of(1, 0, "a", "why", texts);
         Path own = Files.writeString(folder.resolve("own.ini"), "[events]\nlisten = off\n[rules]\nzone = UTC\n");
         List<String> merged = Files.readAllLines(VersionContent.merged(own, kept.texts(v)));
         assertEquals(
@@ -151,12 +151,13 @@
                         "[rules]",
                         "files = " + kept.texts(v).resolve("r.rules") + " /etc/own.rules"),
                 merged);
-        assertEquals(Version.NONE, kept.acting());
+        assertEquals(ConfigurationVersion.NONE, kept.acting());
         kept.acting(v);
-        assertEquals(v, new VersionFolder(folder.resolve("kept")).acting());
+        assertEquals(v, new VersionStore(folder.resolve("kept")).acting());
         kept.keep(List.of(v));
-        kept.keep(List.of(v, Version.of(2, 1, "a", "why", B)));
+        kept.keep(List.of(v, ConfigurationVersion.of(2, 1, "a", "why", B)));
         assertEquals(2, kept.all().size());
-        assertFalse(VersionContent.diff(v, Version.of(2, 1, "a", "why", B)).isEmpty());
+        assertFalse(VersionContent.diff(v, ConfigurationVersion.of(2, 1, "a", "why", B))
+                .isEmpty());
     }
 }
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -27,7 +27,7 @@
         }
     }
 
-    private static final LeaseMachine.Watch DEAF = new LeaseMachine.Watch() {};
+    private static final LeaseStateMachine.Watch DEAF = new LeaseStateMachine.Watch() {};
 
     private LeaseGroup start(String name, Map<String, InetSocketAddress> peers, long snapshotEvery) throws IOException {
         Map<String, InetSocketAddress> founding = new LinkedHashMap<>(peers);
--- a/src/test/java/elderseam/fleet/lease/LeaseTableTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseTableTest.java
@@ -57,22 +57,24 @@
     @Test
     void aTenureEndsBeforeTheLeaseByTheDriftAndAFenceRefusesTheOld() {
         LeaseTable.Outcome a = at(0, Op.ACQUIRE, "a", 0);
-        Tenure t = Tenure.of(a, 0, 1000, new Tenure.Bounds(0.05));
+        LeaseValidity t = LeaseValidity.of(a, 0, 1000, new LeaseValidity.Bounds(0.05));
         assertTrue(t.mayAct(0, 900_000_000L));
         assertFalse(t.mayAct(0, 905_000_000L), "1000 ms * 0.95 / 1.05 is 904.76 ms");
-        Fence fence = new Fence();
+        FencingTokenCheck fence = new FencingTokenCheck();
         assertTrue(fence.admit("probe:bank-7", 2));
         assertFalse(fence.admit("probe:bank-7", 1));
     }
 
     @Test
     void everyScheduleOfTheModelIsSafeWithTheMarginsAndTheUnsafeRuleIsFound() {
-        assertEquals(Optional.empty(), TenureModel.explore(1000, 0.05, 0, new Tenure.Bounds(0.05)));
+        assertEquals(Optional.empty(), LeaseValidityModel.explore(1000, 0.05, 0, new LeaseValidity.Bounds(0.05)));
         assertTrue(
-                TenureModel.explore(1000, 0.05, 0, new Tenure.Bounds(0)).isPresent(),
+                LeaseValidityModel.explore(1000, 0.05, 0, new LeaseValidity.Bounds(0))
+                        .isPresent(),
                 "no margin: a slow clock acts late");
         assertTrue(
-                TenureModel.explore(1000, 0.05, 120, new Tenure.Bounds(0.05)).isPresent(),
+                LeaseValidityModel.explore(1000, 0.05, 120, new LeaseValidity.Bounds(0.05))
+                        .isPresent(),
                 "stamps by wall clocks that stand apart");
     }
 
@@ -90,15 +92,17 @@
     /** Half the term is for renewing; a refusal ends the tenure at once, no answer leaves it to end by itself. */
     @Test
     void theKeeperRenewsInHalfATermAndBelievesARefusalAtOnce() {
-        LeaseKeeper keeper = new LeaseKeeper(1000, new Tenure.Bounds(0.05), new SplittableRandom(1));
-        assertEquals(LeaseKeeper.Ask.ACQUIRE, keeper.next(0).ask());
+        LeaseRequestSchedule keeper =
+                new LeaseRequestSchedule(1000, new LeaseValidity.Bounds(0.05), new SplittableRandom(1));
+        assertEquals(LeaseRequestSchedule.Ask.ACQUIRE, keeper.next(0).ask());
         keeper.answered(0, 10_000_000, at(0, Op.ACQUIRE, "a", 0));
-        assertEquals(LeaseKeeper.Ask.NONE, keeper.next(400_000_000).ask());
-        assertEquals(LeaseKeeper.Ask.RENEW, keeper.next(460_000_000).ask());
+        assertEquals(LeaseRequestSchedule.Ask.NONE, keeper.next(400_000_000).ask());
+        assertEquals(LeaseRequestSchedule.Ask.RENEW, keeper.next(460_000_000).ask());
         keeper.failed(700_000_000);
         assertTrue(keeper.holds(900_000_000));
         assertFalse(keeper.holds(905_000_000));
-        assertEquals(LeaseKeeper.Ask.ACQUIRE, keeper.next(950_000_000).ask(), "its term is over by its own clock");
+        assertEquals(
+                LeaseRequestSchedule.Ask.ACQUIRE, keeper.next(950_000_000).ask(), "its term is over by its own clock");
         keeper.answered(950_000_000, 960_000_000, LeaseTable.Outcome.refused(new LeaseTable.Lease("b", 2, 3000), 1000));
         assertFalse(keeper.holds(960_000_000));
         assertTrue(
--- a/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.compat.RecordedBytes;
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionTable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -36,7 +36,7 @@
         try (ServerSocket s = new ServerSocket(0)) {
             address = new InetSocketAddress("127.0.0.1", s.getLocalPort());
         }
-        LeaseMachine.Watch watch = new LeaseMachine.Watch() {
+        LeaseStateMachine.Watch watch = new LeaseStateMachine.Watch() {
             @Override
             public void published(String lease, String value) {
                 published.add(lease + "=" + value);
@@ -56,8 +56,9 @@
         try {
             assertEquals("discovery=in the snapshot", published.poll(WAIT_S, TimeUnit.SECONDS));
             assertEquals("certificate:localhost=in the log", published.poll(WAIT_S, TimeUnit.SECONDS));
-            Version latest = member.versions().latest();
-            assertEquals(new Version(1, 0, "a", "why", TEXTS, Version.hash(TEXTS), 1_000), latest);
+            ConfigurationVersion latest = member.versions().latest();
+            assertEquals(
+                    new ConfigurationVersion(1, 0, "a", "why", TEXTS, ConfigurationVersion.hash(TEXTS), 1_000), latest);
             assertEquals(List.of(latest), member.versions().all());
             assertEquals(
                     new VersionTable.Ended(1, latest.hash(), ""),
--- a/src/test/java/elderseam/fleet/share/PartitionCompatTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
@@ -1,12 +1,12 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.compat.RecordedBytes;
-import elderseam.fleet.lease.TrialDuty;
-import elderseam.gossip.Claim;
-import elderseam.module.Sender;
+import elderseam.fleet.lease.RecoveryProbeTask;
+import elderseam.gossip.HealthReport;
+import elderseam.policy.Sender;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -22,9 +22,12 @@
     void preferredEndpoints() throws IOException {
         List<String> computed = new ArrayList<>();
         for (int size = 1; size <= 5; size += 2) {
-            computed.add("sre " + size + " " + Subsets.all(Subsets.Way.SRE, MEMBERS, HOSTS, size));
-            computed.add("rendezvous " + size + " " + Subsets.all(Subsets.Way.RENDEZVOUS, MEMBERS, HOSTS, size));
-            computed.add("bounded " + size + " " + Subsets.all(Subsets.Way.BOUNDED, MEMBERS, HOSTS, size));
+            computed.add(
+                    "sre " + size + " " + EndpointSubsetting.all(EndpointSubsetting.Way.SRE, MEMBERS, HOSTS, size));
+            computed.add("rendezvous " + size + " "
+                    + EndpointSubsetting.all(EndpointSubsetting.Way.RENDEZVOUS, MEMBERS, HOSTS, size));
+            computed.add("bounded " + size + " "
+                    + EndpointSubsetting.all(EndpointSubsetting.Way.BOUNDED, MEMBERS, HOSTS, size));
         }
         assertEquals(RecordedBytes.lines("share/subsets", computed), computed);
     }
@@ -33,8 +36,10 @@
     void turns() throws IOException {
         List<String> computed = new ArrayList<>();
         for (String task : List.of("7", "8", "-1", "discovery", "")) {
-            computed.add(task + " " + Turns.owner(task, MEMBERS) + " "
-                    + MEMBERS.stream().map(m -> Turns.place(task, MEMBERS, m)).toList());
+            computed.add(task + " " + TurnSchedule.owner(task, MEMBERS) + " "
+                    + MEMBERS.stream()
+                            .map(m -> TurnSchedule.place(task, MEMBERS, m))
+                            .toList());
         }
         assertEquals(RecordedBytes.lines("share/turns", computed), computed);
     }
@@ -42,9 +47,9 @@
     /** A breaker's state, and what others say of theirs, become a turn's by their names. */
     @Test
     void statesOfBreakersShareTheirNames() {
-        assertArrayEquals(names(TurnDuty.Standing.values()), names(Claim.State.values()));
-        assertArrayEquals(names(TurnDuty.Standing.values()), names(Sender.Standing.values()));
-        assertArrayEquals(names(TurnDuty.Standing.values()), names(TrialDuty.Standing.values()));
+        assertArrayEquals(names(TurnTakingTask.Standing.values()), names(HealthReport.State.values()));
+        assertArrayEquals(names(TurnTakingTask.Standing.values()), names(Sender.Standing.values()));
+        assertArrayEquals(names(TurnTakingTask.Standing.values()), names(RecoveryProbeTask.Standing.values()));
     }
 
     private static String[] names(Enum<?>[] values) {
--- a/src/test/java/elderseam/fleet/share/ShareTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionTest.java
@@ -1,12 +1,12 @@
-package elderseam.fleet.share;
+package elderseam.fleet.partition;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.fleet.share.Subsets.Way;
-import elderseam.fleet.share.TurnDuty.Other;
-import elderseam.fleet.share.TurnDuty.Standing;
+import elderseam.fleet.partition.EndpointSubsetting.Way;
+import elderseam.fleet.partition.TurnTakingTask.Other;
+import elderseam.fleet.partition.TurnTakingTask.Standing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Parts of what all do, by themselves. */
-class ShareTest {
+class PartitionTest {
     private static List<String> names(String of, int n) {
         return IntStream.range(0, n).mapToObj(i -> of + i).toList();
     }
@@ -23,15 +23,16 @@
     void subsetsAreEvenAndFewMoveAsTheFleetGrowsAndShrinks() {
         List<String> hosts = names("s", 14);
         for (int n : new int[] {8, 30, 100, 300}) {
-            Map<String, List<String>> all = Subsets.all(Way.BOUNDED, names("m", n), hosts, 4);
+            Map<String, List<String>> all = EndpointSubsetting.all(Way.BOUNDED, names("m", n), hosts, 4);
             assertTrue(all.values().stream()
                     .allMatch(own -> own.size() == 4 && own.stream().distinct().count() == 4));
             assertTrue(
-                    Subsets.unevenness(all, hosts) <= Math.max(1.15, Math.ceil(n * 4 / 14.0) / (n * 4 / 14.0) + 1e-9),
+                    EndpointSubsetting.unevenness(all, hosts)
+                            <= Math.max(1.15, Math.ceil(n * 4 / 14.0) / (n * 4 / 14.0) + 1e-9),
                     n + " members");
             assertEquals(
                     all,
-                    Subsets.all(
+                    EndpointSubsetting.all(
                             Way.BOUNDED,
                             names("m", n).stream()
                                     .sorted(java.util.Comparator.reverseOrder())
@@ -39,20 +40,22 @@
                             hosts,
                             4),
                     "whatever the order of names");
-            double moved = Subsets.moved(all, Subsets.all(Way.BOUNDED, names("m", n + 1), hosts, 4));
+            double moved =
+                    EndpointSubsetting.moved(all, EndpointSubsetting.all(Way.BOUNDED, names("m", n + 1), hosts, 4));
             assertTrue(moved < 0.25, moved + " of the connections move when one joins " + n);
         }
         assertTrue(
-                Subsets.unevenness(Subsets.all(Way.RENDEZVOUS, names("m", 100), hosts, 4), hosts) > 1.15,
+                EndpointSubsetting.unevenness(EndpointSubsetting.all(Way.RENDEZVOUS, names("m", 100), hosts, 4), hosts)
+                        > 1.15,
                 "chance alone is not even");
-        assertEquals(1, Subsets.size(1_000, 14, 10, 2));
-        assertEquals(14, Subsets.size(10, 14, 0, 2), "no limit known: all");
-        assertEquals(3, Subsets.size(8, 12, 4, 2));
+        assertEquals(1, EndpointSubsetting.size(1_000, 14, 10, 2));
+        assertEquals(14, EndpointSubsetting.size(10, 14, 0, 2), "no limit known: all");
+        assertEquals(3, EndpointSubsetting.size(8, 12, 4, 2));
     }
 
     @Test
     void oneThatComesCountsAtOnceAndOneThatGoesAfterTheHold() {
-        FleetSize size = new FleetSize(5, 1_000);
+        FleetSizeEstimator size = new FleetSizeEstimator(5, 1_000);
         assertEquals(5, size.sharers(0), "as told until something is seen");
         size.seen(0, 10);
         size.seen(100, 3);
@@ -72,18 +75,21 @@
     void aTurnIsOneMembersAndPassesOn() {
         List<String> all = new ArrayList<>(names("m", 20));
         for (String task : names("d", 50)) {
-            String owner = Turns.owner(task, all);
-            assertEquals(0, Turns.place(task, all, owner));
+            String owner = TurnSchedule.owner(task, all);
+            assertEquals(0, TurnSchedule.place(task, all, owner));
             List<String> rest = new ArrayList<>(all);
             rest.remove(owner);
-            assertEquals(1, Turns.place(task, all, Turns.owner(task, rest)), "the next one is the one behind it");
+            assertEquals(
+                    1,
+                    TurnSchedule.place(task, all, TurnSchedule.owner(task, rest)),
+                    "the next one is the one behind it");
         }
-        assertEquals(null, Turns.owner("d", List.of()));
+        assertEquals(null, TurnSchedule.owner("d", List.of()));
     }
 
     private static String other(String task, String self, boolean first) {
         return names("x", 50).stream()
-                .filter(m -> Turns.owner(task, List.of(self, m)).equals(m) == first)
+                .filter(m -> TurnSchedule.owner(task, List.of(self, m)).equals(m) == first)
                 .findFirst()
                 .orElseThrow();
     }
@@ -91,7 +97,7 @@
     @Test
     void theOthersWaitForTheOneWhoseTurnItIsAndForNobodyElse() {
         String first = other("7", "me", true), later = other("7", "me", false);
-        TurnDuty duty = new TurnDuty("7", "me", 2_000);
+        TurnTakingTask duty = new TurnTakingTask("7", "me", 2_000);
         assertFalse(duty.defers(0, Standing.CLOSED, List.of(new Other(first, Standing.OPEN))));
         assertFalse(duty.defers(10, Standing.OPEN, List.of(new Other(later, Standing.OPEN))), "its own turn");
         assertTrue(duty.defers(20, Standing.OPEN, List.of(new Other(first, Standing.OPEN))));
--- a/src/test/java/elderseam/cloudevents/EventSpecTest.java
+++ b/src/test/java/elderseam/frontend/cloudevents/CloudEventsSpecificationTest.java
@@ -1,4 +1,4 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -6,7 +6,7 @@
 
 import elderseam.core.Clock;
 import elderseam.core.SettingsMap;
-import elderseam.http.Server.Request;
+import elderseam.http.HttpServer.Request;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
@@ -19,7 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The demands of CloudEvents 1.0.2 on a receiver and sender, by the list of docs/cloudevents.md. */
-class EventSpecTest {
+class CloudEventsSpecificationTest {
     private static final String JSON =
             "{\"specversion\":\"1.0\",\"type\":\"pay\",\"source\":\"/a\",\"id\":\"1\",\"destination\":\"1\"%s}";
     private final EventCodec codec = new EventCodec(
@@ -204,18 +204,19 @@
         Random random = new Random(7);
         for (int i = 0; i < 20_000; i++) {
             String value = random.ints(random.nextInt(20), 0, i % 2 == 0 ? 0x250 : 0x110000)
-                    .filter(c -> HeaderText.illegal(Character.toString(c)).isEmpty())
+                    .filter(c ->
+                            AttributeHeaderCodec.illegal(Character.toString(c)).isEmpty())
                     .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
                     .toString();
-            String header = HeaderText.encode(value);
+            String header = AttributeHeaderCodec.encode(value);
             assertTrue(header.matches("([!#$&-~]|%[0-9A-F]{2})*"), header);
-            assertEquals(value, HeaderText.decode(header));
+            assertEquals(value, AttributeHeaderCodec.decode(header));
         }
         for (int c = 0x21; c < 0x7f; c++) {
             String s = Character.toString(c);
             assertEquals(
                     c == '"' || c == '%' ? "%" + Integer.toHexString(c) : s,
-                    HeaderText.encode(s),
+                    AttributeHeaderCodec.encode(s),
                     "exactly these leave encoded");
         }
     }
@@ -223,7 +224,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"\u00e9", "a\u0001b", "\"a\\\"", "%E2%82", "%u20ac"})
     void whatIsNoHeaderTextIsRefused(String header) {
-        assertThrows(IllegalArgumentException.class, () -> HeaderText.decode(header));
+        assertThrows(IllegalArgumentException.class, () -> AttributeHeaderCodec.decode(header));
     }
 
     /** Web hooks 1.0.2, section 4: off, then by name, then for all; a rate is told where one was asked for, never above the bound. */
@@ -252,7 +253,8 @@
         if (asked != null) {
             headers.put(new HttpString("WebHook-Request-Rate"), asked);
         }
-        WebHook.Reply reply = new WebHook(origins.isEmpty() ? List.of() : List.of(origins.split(" ")), rate)
+        WebHookHandshake.Reply reply = new WebHookHandshake(
+                        origins.isEmpty() ? List.of() : List.of(origins.split(" ")), rate)
                 .answer(new Request("OPTIONS", "/events", headers, new byte[0]));
         assertEquals(code, reply.code());
         assertEquals(allowed, reply.headers().get("WebHook-Allowed-Origin"));
--- a/src/test/java/elderseam/platform/MeaningTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -1,21 +1,21 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.http.Reply;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.http.HttpResult;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What an answer of an upstream host means. */
-class MeaningTest {
+class ResponseClassificationTest {
     private static End end(int code, String header, String value) {
-        return PlatformUpstream.meaning(
-                new Reply(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
+        return PlatformAttemptSender.meaning(
+                new HttpResult(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
     }
 
     @Test
@@ -55,9 +55,9 @@
 
     @Test
     void remainingTimes() {
-        assertEquals(480_000_000L, PlatformFront.remaining("480m"));
-        assertEquals(480_000L, PlatformFront.remaining("480u"));
-        assertEquals(-1, PlatformFront.remaining("480"));
-        assertEquals(-1, PlatformFront.remaining("-4m"));
+        assertEquals(480_000_000L, PlatformFrontend.remaining("480m"));
+        assertEquals(480_000L, PlatformFrontend.remaining("480u"));
+        assertEquals(-1, PlatformFrontend.remaining("480"));
+        assertEquals(-1, PlatformFrontend.remaining("-4m"));
     }
 }
--- a/src/test/java/elderseam/gossip/AgentTest.java
+++ b/src/test/java/elderseam/gossip/GossipAgentTest.java
@@ -12,11 +12,11 @@
 import org.junit.jupiter.api.Test;
 
 /** One instance and what others, honest or not, tell it. */
-class AgentTest {
+class GossipAgentTest {
     private static final long S = 1_000_000_000L;
 
     /** Seals that name their maker: a forger can't make another's. */
-    private record Seals(String self) implements Trust {
+    private record Seals(String self) implements PeerVerifier {
         @Override
         public int key() {
             return self.hashCode();
@@ -45,35 +45,45 @@
 
     private long now = 100 * S;
     private long wall = 1_000_000;
-    private final Ceiling ceiling = new Ceiling(64 << 10, 100, now);
-    private final Agent agent = new Agent(
-            "a", "a:1", List.of(), 1, Tempo.USUAL, ceiling, new Seals("a"), now, new SplittableRandom(1), (n, s) -> {});
-    private final Map<Long, Agent.Word> words = new HashMap<>();
+    private final SendRateLimiter ceiling = new SendRateLimiter(64 << 10, 100, now);
+    private final GossipAgent agent = new GossipAgent(
+            "a",
+            "a:1",
+            List.of(),
+            1,
+            GossipTimings.USUAL,
+            ceiling,
+            new Seals("a"),
+            now,
+            new SplittableRandom(1),
+            (n, s) -> {});
+    private final Map<Long, GossipAgent.Word> words = new HashMap<>();
     private final Map<String, Long> numbers = new HashMap<>();
 
-    private static Claim open(String reporter, long number, long destination) {
-        return new Claim(reporter, 1, number, destination, Claim.State.OPEN, 0, 20, 20, 10_000);
+    private static HealthReport open(String reporter, long number, long destination) {
+        return new HealthReport(reporter, 1, number, destination, HealthReport.State.OPEN, 0, 20, 20, 10_000);
     }
 
-    private Signed signed(Claim c, String by, long at) {
+    private SignedReport signed(HealthReport c, String by, long at) {
         Seals s = new Seals(by);
-        return new Signed(
+        return new SignedReport(
                 c,
                 at,
                 c.reporter().hashCode(),
-                s.seal(Codec.sealed(c, at, c.reporter().hashCode())));
+                s.seal(PacketCodec.sealed(c, at, c.reporter().hashCode())));
     }
 
-    private void tell(String from, Signed... claims) {
+    private void tell(String from, SignedReport... claims) {
         agent.receive(from, new Packet(new Message.News(), List.of(), List.of(claims)), now, wall, wall);
     }
 
-    private void says(String reporter, long destination, Claim.State state) {
-        Claim c = new Claim(reporter, 1, numbers.merge(reporter, 1L, Long::sum), destination, state, 0, 20, 20, 10_000);
+    private void says(String reporter, long destination, HealthReport.State state) {
+        HealthReport c = new HealthReport(
+                reporter, 1, numbers.merge(reporter, 1L, Long::sum), destination, state, 0, 20, 20, 10_000);
         tell(reporter, signed(c, reporter, wall));
     }
 
-    private void look(Agent.Own... own) {
+    private void look(GossipAgent.Own... own) {
         agent.look(List.of(own), words::put, now, wall);
     }
 
@@ -83,19 +93,19 @@
     }
 
     private double doubt(long destination) {
-        return words.getOrDefault(destination, new Agent.Word(-1, -1)).doubt();
+        return words.getOrDefault(destination, new GossipAgent.Word(-1, -1)).doubt();
     }
 
     @Test
     void oneReporterIsWorthLessThanTheLeastEffect() {
-        says("b", 1, Claim.State.OPEN);
+        says("b", 1, HealthReport.State.OPEN);
         look();
         assertEquals(0, doubt(1));
-        says("c", 1, Claim.State.OPEN);
+        says("c", 1, HealthReport.State.OPEN);
         look();
         assertTrue(doubt(1) > 0 && doubt(1) < 0.25, "two: " + doubt(1));
         for (String r : List.of("d", "e", "f")) {
-            says(r, 1, Claim.State.OPEN);
+            says(r, 1, HealthReport.State.OPEN);
         }
         look();
         assertEquals(1, doubt(1), 1e-9);
@@ -112,15 +122,15 @@
     void aLyingMajorityIsContradictedByOwnCalls() {
         for (int i = 0; i < 6; i++) {
             for (String r : List.of("b", "c", "d", "e")) {
-                says(r, 1, Claim.State.OPEN);
+                says(r, 1, HealthReport.State.OPEN);
             }
-            look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 1));
+            look(new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 1));
             assertEquals(0, doubt(1));
             pass(3);
         }
         assertTrue(agent.worth("b", now) < 0.1, "worth " + agent.worth("b", now));
         for (String r : List.of("b", "c", "d", "e")) {
-            says(r, 2, Claim.State.OPEN);
+            says(r, 2, HealthReport.State.OPEN);
         }
         look();
         assertEquals(0, doubt(2), "of a destination without own calls they are not believed any more");
@@ -132,8 +142,8 @@
     @Test
     void aFlappingLiarMovesNothing() {
         for (int i = 0; i < 40; i++) {
-            says("b", 1, i % 2 == 0 ? Claim.State.OPEN : Claim.State.CLOSED);
-            look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0));
+            says("b", 1, i % 2 == 0 ? HealthReport.State.OPEN : HealthReport.State.CLOSED);
+            look(new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0));
             assertEquals(0, doubt(1));
             pass(1);
         }
@@ -144,9 +154,9 @@
     @Test
     void aForgedClaimIsNone() {
         tell("b", signed(open("c", 1, 1), "b", wall));
-        Signed true1 = signed(open("c", 2, 1), "c", wall);
-        tell("b", new Signed(open("c", 3, 1), wall, true1.key(), true1.seal()));
-        assertEquals(2, agent.dropped(Agent.Drop.FORGED_CLAIM));
+        SignedReport true1 = signed(open("c", 2, 1), "c", wall);
+        tell("b", new SignedReport(open("c", 3, 1), wall, true1.key(), true1.seal()));
+        assertEquals(2, agent.dropped(GossipAgent.Drop.FORGED_CLAIM));
         assertEquals(0, agent.claims().size());
         tell("b", true1);
         assertEquals(1, agent.claims().size());
@@ -156,11 +166,11 @@
     @Test
     void aClaimThatWasHeldBackIsTooOld() {
         long theirs = wall + 120_000;
-        Signed s = signed(open("c", 1, 1), "c", theirs), fresh = signed(open("c", 2, 1), "c", theirs + 60_000);
+        SignedReport s = signed(open("c", 1, 1), "c", theirs), fresh = signed(open("c", 2, 1), "c", theirs + 60_000);
         agent.receive("c", new Packet(new Message.News(), List.of(), List.of()), now, wall, theirs);
         pass(60);
         tell("b", s);
-        assertEquals(1, agent.dropped(Agent.Drop.STALE_CLAIM));
+        assertEquals(1, agent.dropped(GossipAgent.Drop.STALE_CLAIM));
         tell("b", fresh);
         assertEquals(1, agent.claims().size());
     }
@@ -171,7 +181,8 @@
         for (int i = 0; i < 200; i++) {
             tell("b", signed(open("c", i + 1, i), "b", wall));
         }
-        assertTrue(agent.dropped(Agent.Drop.FORGED_CLAIM) <= 40 && agent.dropped(Agent.Drop.CLAIMS_OVER_RATE) >= 160);
+        assertTrue(agent.dropped(GossipAgent.Drop.FORGED_CLAIM) <= 40
+                && agent.dropped(GossipAgent.Drop.CLAIMS_OVER_RATE) >= 160);
         tell("d", signed(open("d", 1, 1), "d", wall));
         assertEquals(1, agent.claims().size(), "another sender has a budget of its own");
     }
@@ -184,15 +195,16 @@
                 new Packet(
                         new Message.News(),
                         List.of(
-                                new Rumour("c", "d:1", Standing.ALIVE, 1, "c"),
-                                new Rumour("d", "d:1", Standing.ALIVE, 1, "d")),
+                                new MembershipUpdate("c", "d:1", MemberState.ALIVE, 1, "c"),
+                                new MembershipUpdate("d", "d:1", MemberState.ALIVE, 1, "d")),
                         List.of()),
                 now,
                 wall,
                 wall);
         assertEquals(
                 2,
-                agent.dropped(Agent.Drop.STRANGER) + agent.membership().seen().size());
+                agent.dropped(GossipAgent.Drop.STRANGER)
+                        + agent.membership().seen().size());
         assertEquals("d", agent.membership().seen().get(0).member());
     }
 
@@ -204,34 +216,39 @@
             agent.receive(
                     "b",
                     new Packet(
-                            new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, lie, "b")), List.of()),
+                            new Message.News(),
+                            List.of(new MembershipUpdate("a", "a:1", MemberState.SUSPECT, lie, "b")),
+                            List.of()),
                     now,
                     wall,
                     wall);
         }
         assertEquals(ownBefore, agent.membership().state().get(0).incarnation());
-        assertEquals(2, agent.dropped(Agent.Drop.AHEAD));
+        assertEquals(2, agent.dropped(GossipAgent.Drop.AHEAD));
         agent.receive(
                 "b",
-                new Packet(new Message.News(), List.of(new Rumour("a", "a:1", Standing.SUSPECT, most, "b")), List.of()),
+                new Packet(
+                        new Message.News(),
+                        List.of(new MembershipUpdate("a", "a:1", MemberState.SUSPECT, most, "b")),
+                        List.of()),
                 now,
                 wall,
                 wall);
-        Rumour refutes = agent.membership().state().get(0);
+        MembershipUpdate refutes = agent.membership().state().get(0);
         assertEquals(most + 1, refutes.incarnation());
-        Agent other = new Agent(
+        GossipAgent other = new GossipAgent(
                 "c",
                 "c:1",
                 List.of(),
                 1,
-                Tempo.USUAL,
+                GossipTimings.USUAL,
                 ceiling,
                 new Seals("c"),
                 now,
                 new SplittableRandom(2),
                 (n, s) -> {});
         other.receive("a", new Packet(new Message.News(), List.of(refutes), List.of()), now, wall, wall);
-        assertEquals(Standing.ALIVE, other.membership().standing("a"));
+        assertEquals(MemberState.ALIVE, other.membership().standing("a"));
     }
 
     /** Above the ceiling nothing leaves; while it binds, the newest and most confirmed claims are the ones that do. */
@@ -239,15 +256,18 @@
     void theCeilingLetsTheMostConfirmedGoFirst() {
         agent.receive(
                 "b",
-                new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()),
+                new Packet(
+                        new Message.News(),
+                        List.of(new MembershipUpdate("b", "b:1", MemberState.ALIVE, 1, "b")),
+                        List.of()),
                 now,
                 wall,
                 wall);
         for (int d = 1; d <= 30; d++) {
-            says("b", d, Claim.State.OPEN);
+            says("b", d, HealthReport.State.OPEN);
         }
         for (String r : List.of("c", "d", "e")) {
-            says(r, 7, Claim.State.OPEN);
+            says(r, 7, HealthReport.State.OPEN);
         }
         agent.sent(now);
         ceiling.set(1_000, 2, now);
@@ -257,15 +277,15 @@
             now += S / 5;
             wall += 200;
             agent.tick(now);
-            for (Agent.Outgoing o : agent.sent(now)) {
+            for (GossipAgent.Outgoing o : agent.sent(now)) {
                 bytes += o.bytes().length + 160;
-                Codec.decode(java.nio.ByteBuffer.wrap(o.bytes()))
+                PacketCodec.decode(java.nio.ByteBuffer.wrap(o.bytes()))
                         .claims()
                         .forEach(s -> said.add(s.claim().destination()));
             }
         }
         assertTrue(bytes <= 1_000 + 2 * 1_000, bytes + " bytes in two seconds");
-        assertTrue(agent.dropped(Agent.Drop.CEILING) > 0);
+        assertTrue(agent.dropped(GossipAgent.Drop.CEILING) > 0);
         assertEquals(7L, said.get(0), said::toString);
         assertTrue(said.indexOf(30L) >= 0 && said.indexOf(1L) < 0, "the newest before the oldest: " + said);
     }
@@ -273,21 +293,26 @@
     /** Own breakers: what is news is said at once, what lasts is said again before it expires, what never opened not at all. */
     @Test
     void ownClaims() {
-        look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 500, 4, 4));
+        look(
+                new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0),
+                new GossipAgent.Own(2, HealthReport.State.OPEN, 500, 4, 4));
         assertEquals(
-                List.of(2L), agent.claims().stream().map(Claim::destination).toList());
+                List.of(2L),
+                agent.claims().stream().map(HealthReport::destination).toList());
         long first = agent.claims().get(0).number();
         pass(1);
-        look(new Agent.Own(1, Claim.State.CLOSED, 0, 40, 0), new Agent.Own(2, Claim.State.OPEN, 0, 4, 4));
+        look(
+                new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0),
+                new GossipAgent.Own(2, HealthReport.State.OPEN, 0, 4, 4));
         assertEquals(first, agent.claims().get(0).number());
         pass(2);
-        look(new Agent.Own(2, Claim.State.OPEN, 0, 4, 4));
+        look(new GossipAgent.Own(2, HealthReport.State.OPEN, 0, 4, 4));
         assertEquals(first + 1, agent.claims().get(0).number());
-        look(new Agent.Own(2, Claim.State.CLOSED, 0, 1, 0));
-        assertEquals(Claim.State.CLOSED, agent.claims().get(0).state());
-        List<Agent.Own> many = new ArrayList<>();
+        look(new GossipAgent.Own(2, HealthReport.State.CLOSED, 0, 1, 0));
+        assertEquals(HealthReport.State.CLOSED, agent.claims().get(0).state());
+        List<GossipAgent.Own> many = new ArrayList<>();
         for (long d = 1; d <= 1_000; d++) {
-            many.add(new Agent.Own(d, Claim.State.OPEN, 0, 4, 4));
+            many.add(new GossipAgent.Own(d, HealthReport.State.OPEN, 0, 4, 4));
         }
         for (int i = 0; i < 120; i++) {
             pass(1);
@@ -299,7 +324,7 @@
     /** Names as long as they may be, and as much to say as there can be: no datagram and no state is over its size. */
     @Test
     void theLongestNamesFit() {
-        Trust anybody = new Trust() {
+        PeerVerifier anybody = new PeerVerifier() {
             @Override
             public int key() {
                 return 1;
@@ -321,11 +346,20 @@
             }
         };
         String self = "a".repeat(64), address = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
-        Agent a = new Agent(
-                self, address, List.of(), 1, Tempo.USUAL, ceiling, anybody, now, new SplittableRandom(1), (n, s) -> {});
-        List<Rumour> all = new ArrayList<>();
+        GossipAgent a = new GossipAgent(
+                self,
+                address,
+                List.of(),
+                1,
+                GossipTimings.USUAL,
+                ceiling,
+                anybody,
+                now,
+                new SplittableRandom(1),
+                (n, s) -> {});
+        List<MembershipUpdate> all = new ArrayList<>();
         for (int i = 0; i < 1_024; i++) {
-            all.add(new Rumour(String.format("%064d", i), address, Standing.SUSPECT, 1, "b".repeat(64)));
+            all.add(new MembershipUpdate(String.format("%064d", i), address, MemberState.SUSPECT, 1, "b".repeat(64)));
         }
         a.receive("b", new Packet(new Message.State(true), all, List.of()), now, wall, wall);
         for (int i = 0; i < 200; i++) {
@@ -335,18 +369,18 @@
                     new Packet(
                             new Message.News(),
                             List.of(),
-                            List.of(new Signed(open(reporter, 1, i), wall, 1, new byte[64]))),
+                            List.of(new SignedReport(open(reporter, 1, i), wall, 1, new byte[64]))),
                     now,
                     wall,
                     wall);
         }
-        int state = Codec.encode(a.state(true, now), 2 * Packet.STATE).length + Packet.envelope(self);
+        int state = PacketCodec.encode(a.state(true, now), 2 * Packet.STATE).length + Packet.envelope(self);
         assertTrue(state > 190_000 && state <= Packet.STATE, state + " bytes");
         int longest = 0;
         for (int i = 0; i < 100; i++) {
             now += S / 10;
             a.tick(now);
-            for (Agent.Outgoing o : a.sent(now)) {
+            for (GossipAgent.Outgoing o : a.sent(now)) {
                 longest = Math.max(longest, o.bytes().length + Packet.envelope(self));
             }
         }
@@ -357,12 +391,15 @@
     void whoIsOffTheRosterIsForgotten() {
         agent.receive(
                 "b",
-                new Packet(new Message.News(), List.of(new Rumour("b", "b:1", Standing.ALIVE, 1, "b")), List.of()),
+                new Packet(
+                        new Message.News(),
+                        List.of(new MembershipUpdate("b", "b:1", MemberState.ALIVE, 1, "b")),
+                        List.of()),
                 now,
                 wall,
                 wall);
         for (String r : List.of("b", "c", "d", "e", "f")) {
-            says(r, 1, Claim.State.OPEN);
+            says(r, 1, HealthReport.State.OPEN);
         }
         look();
         assertEquals(1, doubt(1), 1e-9);
--- a/src/test/java/elderseam/gossip/RollModelTest.java
+++ b/src/test/java/elderseam/gossip/MembershipTableModelTest.java
@@ -22,16 +22,16 @@
 
 /**
  * Alloy 6 on the state machine of a suspicion. What a member does with a rumour is not told a second time in a model: it is
- * asked of {@link Roll} itself, each state with each rumour, and written out as a relation. Alloy then looks for courses of
+ * asked of {@link MembershipTable} itself, each state with each rumour, and written out as a relation. Alloy then looks for courses of
  * a subject and its observers (rumours delivered late, twice, in any order, or never) in which a property breaks.
  */
-class RollModelTest {
+class MembershipTableModelTest {
     private static final int INCARNATIONS = 3, STEPS = 7;
     private static final List<String> PROPERTIES =
             List.of("neverBack", "onlyTheSubjectRaises", "refutationWins", "deadStaysUntilOutbid");
 
     /** A standing and an incarnation, as the model names it: A0, S0, D0, L0, A1, ... */
-    private record Held(Standing standing, long incarnation) {
+    private record Held(MemberState standing, long incarnation) {
         @Override
         public String toString() {
             return "ASDL".charAt(standing.ordinal()) + "" + incarnation;
@@ -41,8 +41,8 @@
     private static List<Held> states(boolean left) {
         List<Held> all = new ArrayList<>();
         for (int i = 0; i < INCARNATIONS; i++) {
-            for (Standing s : Standing.values()) {
-                if (left || s != Standing.LEFT) {
+            for (MemberState s : MemberState.values()) {
+                if (left || s != MemberState.LEFT) {
                     all.add(new Held(s, i));
                 }
             }
@@ -50,14 +50,14 @@
         return all;
     }
 
-    private static Rumour rumour(Held h) {
-        return new Rumour("s", "s:1", h.standing, h.incarnation, h.standing == Standing.ALIVE ? "s" : "x");
+    private static MembershipUpdate rumour(Held h) {
+        return new MembershipUpdate("s", "s:1", h.standing, h.incarnation, h.standing == MemberState.ALIVE ? "s" : "x");
     }
 
     /** What the true code holds of a member after that. */
     private static Held hear(Held held, Held heard) {
-        Roll roll = new Roll("o", "o:1", 0, Tempo.USUAL, (n, s) -> {}, m -> {}, () -> {});
-        roll.hear(rumour(new Held(Standing.ALIVE, held.incarnation)), 0);
+        MembershipTable roll = new MembershipTable("o", "o:1", 0, GossipTimings.USUAL, (n, s) -> {}, m -> {}, () -> {});
+        roll.hear(rumour(new Held(MemberState.ALIVE, held.incarnation)), 0);
         roll.hear(rumour(held), 0);
         roll.hear(rumour(heard), 0);
         Member m = roll.get("s");
@@ -66,9 +66,10 @@
 
     /** The incarnation of a subject that hears that of itself. */
     private static long refute(long own, Held heard) {
-        Roll roll = new Roll("s", "s:1", own, Tempo.USUAL, (n, s) -> {}, m -> {}, () -> {});
+        MembershipTable roll =
+                new MembershipTable("s", "s:1", own, GossipTimings.USUAL, (n, s) -> {}, m -> {}, () -> {});
         roll.hear(rumour(heard), 0);
-        return roll.own(Standing.ALIVE).incarnation();
+        return roll.own(MemberState.ALIVE).incarnation();
     }
 
     private static String model(BinaryOperator<Held> hear) {
@@ -101,7 +102,7 @@
                             .append(r);
                 }
                 long own = h.incarnation, next = refute(own, r);
-                if (h.standing == Standing.ALIVE
+                if (h.standing == MemberState.ALIVE
                         && next < INCARNATIONS) { // beyond the scope the subject has nothing to say
                     refutes.append(refutes.length() > 0 ? " + " : "")
                             .append(h)
@@ -181,7 +182,7 @@
 
     @Test
     void noCourseBreaksAProperty() {
-        String model = model(RollModelTest::hear);
+        String model = model(MembershipTableModelTest::hear);
         Map<String, Boolean> found = found(model, PROPERTIES);
         assertEquals(PROPERTIES, List.copyOf(found.keySet()));
         found.forEach((property, broken) -> assertFalse(broken, property));
@@ -202,17 +203,17 @@
         String property = fault.substring(0, fault.indexOf(':'));
         BinaryOperator<Held> wrong = (held, heard) -> {
             if (property.equals("neverBack")
-                    && heard.standing == Standing.ALIVE
+                    && heard.standing == MemberState.ALIVE
                     && heard.incarnation == held.incarnation) {
                 return heard;
             }
             if (property.equals("deadStaysUntilOutbid")
-                    && held.standing == Standing.DEAD
-                    && heard.standing == Standing.SUSPECT
+                    && held.standing == MemberState.DEAD
+                    && heard.standing == MemberState.SUSPECT
                     && heard.incarnation == held.incarnation) {
                 return heard;
             }
-            if (property.equals("refutationWins") && held.standing == Standing.DEAD) {
+            if (property.equals("refutationWins") && held.standing == MemberState.DEAD) {
                 return held;
             }
             return hear(held, heard);
@@ -226,10 +227,10 @@
         for (Held held : states(true)) {
             for (Held heard : states(true)) {
                 Held then = hear(held, heard);
-                boolean back = (held.standing == Standing.LEFT || held.standing == Standing.DEAD)
+                boolean back = (held.standing == MemberState.LEFT || held.standing == MemberState.DEAD)
                         && then.standing != held.standing;
                 assertTrue(
-                        !back || heard.standing == Standing.ALIVE && heard.incarnation > held.incarnation,
+                        !back || heard.standing == MemberState.ALIVE && heard.incarnation > held.incarnation,
                         held + " " + heard + " " + then);
             }
         }
--- a/src/test/java/elderseam/gossip/CodecTest.java
+++ b/src/test/java/elderseam/gossip/PacketCodecTest.java
@@ -15,7 +15,7 @@
 import net.jqwik.api.Provide;
 
 /** Bytes of packets: there and back; and whatever else comes is null, never an exception. */
-class CodecTest {
+class PacketCodecTest {
     private static final int MOST = 64 << 10;
 
     @Provide
@@ -32,23 +32,23 @@
                     case 5 -> new Message.News();
                     default -> new Message.State(k == 7);
                 });
-        Arbitrary<Rumour> rumours = Combinators.combine(
+        Arbitrary<MembershipUpdate> rumours = Combinators.combine(
                         names,
                         Arbitraries.of("127.0.0.1:1", "[::1]:65535"),
-                        Arbitraries.of(Standing.class),
+                        Arbitraries.of(MemberState.class),
                         Arbitraries.longs().between(0, Long.MAX_VALUE / 2),
                         names)
-                .as(Rumour::new);
-        Arbitrary<Signed> claims = Combinators.combine(
+                .as(MembershipUpdate::new);
+        Arbitrary<SignedReport> claims = Combinators.combine(
                         names,
                         Arbitraries.longs(),
                         Arbitraries.longs(),
-                        Arbitraries.of(Claim.State.class),
+                        Arbitraries.of(HealthReport.State.class),
                         Arbitraries.integers().between(0, Integer.MAX_VALUE),
                         Arbitraries.integers().between(0, 1_000),
                         Arbitraries.integers())
                 .as((r, i, d, s, w, c, k) ->
-                        new Signed(new Claim(r, i, i ^ d, d, s, w, c, c / 2, w), d, k, new byte[64]));
+                        new SignedReport(new HealthReport(r, i, i ^ d, d, s, w, c, c / 2, w), d, k, new byte[64]));
         return Combinators.combine(
                         messages, rumours.list().ofMaxSize(20), claims.list().ofMaxSize(8))
                 .as(Packet::new);
@@ -56,35 +56,35 @@
 
     @Property(tries = 300)
     void thereAndBack(@ForAll("packets") Packet p) {
-        byte[] bytes = Codec.encode(p, MOST);
-        Packet back = Codec.decode(ByteBuffer.wrap(bytes));
+        byte[] bytes = PacketCodec.encode(p, MOST);
+        Packet back = PacketCodec.decode(ByteBuffer.wrap(bytes));
         assertEquals(p.message(), back.message());
         assertEquals(p.rumours(), back.rumours());
-        assertArrayEquals(bytes, Codec.encode(back, MOST));
-        int sizes = p.rumours().stream().mapToInt(Rumour::bytes).sum()
-                + p.claims().stream().mapToInt(Signed::bytes).sum();
+        assertArrayEquals(bytes, PacketCodec.encode(back, MOST));
+        int sizes = p.rumours().stream().mapToInt(MembershipUpdate::bytes).sum()
+                + p.claims().stream().mapToInt(SignedReport::bytes).sum();
         assertEquals(true, bytes.length <= sizes + 80, "told sizes are at least the true ones");
     }
 
     @Property(tries = 300)
     void cutShortOrLongerIsNothing(@ForAll("packets") Packet p, @ForAll int at) {
-        byte[] bytes = Codec.encode(p, MOST);
-        assertNull(Codec.decode(ByteBuffer.wrap(bytes, 0, Math.floorMod(at, bytes.length))));
-        assertNull(Codec.decode(ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length + 1))));
+        byte[] bytes = PacketCodec.encode(p, MOST);
+        assertNull(PacketCodec.decode(ByteBuffer.wrap(bytes, 0, Math.floorMod(at, bytes.length))));
+        assertNull(PacketCodec.decode(ByteBuffer.wrap(Arrays.copyOf(bytes, bytes.length + 1))));
     }
 
     @Property(tries = 1_000)
     void junkIsNothingOrAPacket(@ForAll byte[] junk) {
-        Codec.decode(ByteBuffer.wrap(junk)); // throws nothing
+        PacketCodec.decode(ByteBuffer.wrap(junk)); // throws nothing
     }
 
     /** An incarnation near the end of all numbers could not be outbid. */
     @Property(tries = 1)
     void anIncarnationThatCanNotBeOutbidIsNothing() {
-        assertNull(Codec.decode(ByteBuffer.wrap(Codec.encode(
+        assertNull(PacketCodec.decode(ByteBuffer.wrap(PacketCodec.encode(
                 new Packet(
                         new Message.News(),
-                        List.of(new Rumour("a", "b:1", Standing.SUSPECT, Long.MAX_VALUE, "c")),
+                        List.of(new MembershipUpdate("a", "b:1", MemberState.SUSPECT, Long.MAX_VALUE, "c")),
                         List.of()),
                 MOST))));
     }
--- a/src/test/java/elderseam/gossip/PacketCompatTest.java
+++ b/src/test/java/elderseam/gossip/PacketCompatTest.java
@@ -14,13 +14,15 @@
 class PacketCompatTest {
     private static final long WALL_MS = 1_700_000_000_123L;
     private static final int KEY = 0x1234_5678;
-    private static final List<Rumour> RUMOURS = List.of(
-            new Rumour("n1", "127.0.0.1:7946", Standing.ALIVE, 5, "n1"),
-            new Rumour("n2", "[::1]:7946", Standing.SUSPECT, 6, "n1"),
-            new Rumour("n3", "10.0.0.3:1", Standing.DEAD, 7, "n2"),
-            new Rumour("n4", "10.0.0.4:65535", Standing.LEFT, Long.MAX_VALUE / 2, "n4"));
-    private static final List<Signed> CLAIMS =
-            List.of(signed(Claim.State.CLOSED, 0), signed(Claim.State.HALF_OPEN, 1), signed(Claim.State.OPEN, 30_000));
+    private static final List<MembershipUpdate> RUMOURS = List.of(
+            new MembershipUpdate("n1", "127.0.0.1:7946", MemberState.ALIVE, 5, "n1"),
+            new MembershipUpdate("n2", "[::1]:7946", MemberState.SUSPECT, 6, "n1"),
+            new MembershipUpdate("n3", "10.0.0.3:1", MemberState.DEAD, 7, "n2"),
+            new MembershipUpdate("n4", "10.0.0.4:65535", MemberState.LEFT, Long.MAX_VALUE / 2, "n4"));
+    private static final List<SignedReport> CLAIMS = List.of(
+            signed(HealthReport.State.CLOSED, 0),
+            signed(HealthReport.State.HALF_OPEN, 1),
+            signed(HealthReport.State.OPEN, 30_000));
     private static final List<Packet> PACKETS = List.of(
             packet(new Message.Ping(1, "n2")),
             packet(new Message.PingFor(2, "n3")),
@@ -30,11 +32,14 @@
             new Packet(new Message.State(false), List.of(), CLAIMS),
             new Packet(new Message.State(true), RUMOURS, CLAIMS));
 
-    private static Signed signed(Claim.State state, int waitMs) {
-        byte[] seal = new byte[Signed.SEAL];
+    private static SignedReport signed(HealthReport.State state, int waitMs) {
+        byte[] seal = new byte[SignedReport.SEAL];
         Arrays.fill(seal, (byte) (0xa0 + state.ordinal()));
-        return new Signed(
-                new Claim("n1", 5, 9, 0x0102_0304_0506_0708L, state, waitMs, 20, 12, 10_000), WALL_MS, KEY, seal);
+        return new SignedReport(
+                new HealthReport("n1", 5, 9, 0x0102_0304_0506_0708L, state, waitMs, 20, 12, 10_000),
+                WALL_MS,
+                KEY,
+                seal);
     }
 
     private static Packet packet(Message message) {
@@ -44,13 +49,13 @@
     @Test
     void packets() throws IOException {
         List<String> written = PACKETS.stream()
-                .map(p -> RecordedBytes.hex(Codec.encode(p, Packet.DATAGRAM)))
+                .map(p -> RecordedBytes.hex(PacketCodec.encode(p, Packet.DATAGRAM)))
                 .toList();
         List<String> recorded = RecordedBytes.lines("gossip/packets", written);
         assertEquals(recorded, written);
         for (int i = 0; i < PACKETS.size(); i++) {
             Packet expected = PACKETS.get(i),
-                    read = Codec.decode(ByteBuffer.wrap(RecordedBytes.fromHex(recorded.get(i))));
+                    read = PacketCodec.decode(ByteBuffer.wrap(RecordedBytes.fromHex(recorded.get(i))));
             assertEquals(expected.message(), read.message());
             assertEquals(expected.rumours(), read.rumours());
             assertEquals(expected.claims().size(), read.claims().size());
@@ -60,7 +65,7 @@
         }
     }
 
-    private static void assertSame(Signed expected, Signed read) {
+    private static void assertSame(SignedReport expected, SignedReport read) {
         assertEquals(expected.claim(), read.claim());
         assertEquals(expected.wallMs(), read.wallMs());
         assertEquals(expected.key(), read.key());
@@ -71,7 +76,7 @@
     @Test
     void signedBytes() throws IOException {
         List<String> written = CLAIMS.stream()
-                .map(s -> RecordedBytes.hex(Codec.sealed(s.claim(), s.wallMs(), s.key())))
+                .map(s -> RecordedBytes.hex(PacketCodec.sealed(s.claim(), s.wallMs(), s.key())))
                 .toList();
         assertEquals(RecordedBytes.lines("gossip/signed-bytes", written), written);
     }
--- a/src/test/java/elderseam/gossip/FleetTest.java
+++ b/src/test/java/elderseam/gossip/SimulatedFleetTest.java
@@ -3,23 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.gossip.trial.Fleet;
-import elderseam.gossip.trial.Trial;
+import elderseam.testkit.gossip.SimulatedFleet;
+import elderseam.testkit.gossip.SimulationRun;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Whole fleets in virtual time, and what happens to them. */
-class FleetTest {
+class SimulatedFleetTest {
     private static final long S = 1_000_000_000L;
 
-    private static Fleet joined(int instances, double loss, long seed) {
-        Fleet fleet = new Fleet(instances, Tempo.USUAL, loss, loss / 10, seed);
+    private static SimulatedFleet joined(int instances, double loss, long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(instances, GossipTimings.USUAL, loss, loss / 10, seed);
         assertTrue(fleet.untilAgreed(300 * S) >= 0, "never joined");
         return fleet;
     }
 
-    private static long of(Fleet fleet, String name, Standing standing) {
+    private static long of(SimulatedFleet fleet, String name, MemberState standing) {
         return fleet.changes().stream()
                 .filter(c -> c.of().equals(name) && c.standing() == standing)
                 .count();
@@ -29,7 +29,7 @@
     @ParameterizedTest
     @CsvSource({"3,0", "5,0", "50,0", "50,0.1", "200,0"})
     void aKilledMemberIsFoundByAll(int instances, double loss) {
-        Trial t = Trial.run(instances, loss, true, 20, 7);
+        SimulationRun t = SimulationRun.run(instances, loss, true, 20, 7);
         assertTrue(t.suspectedMs() >= 500 && t.suspectedMs() < 12_000, t::words);
         assertTrue(t.allMs() > 0 && t.allMs() < 60_000, t::words);
         assertTrue(loss > 0 || t.falseSuspicions() == 0 && t.falseDeaths() == 0, t::words);
@@ -38,10 +38,10 @@
     /** Hung with its socket open, it is held dead; back, it says so, and is present for all again. */
     @Test
     void aHungMemberComesBack() {
-        Fleet fleet = joined(8, 0, 3);
+        SimulatedFleet fleet = joined(8, 0, 3);
         fleet.hang("n0004");
         fleet.pass(60 * S);
-        assertEquals(Standing.DEAD, fleet.standing("n0001", "n0004"));
+        assertEquals(MemberState.DEAD, fleet.standing("n0001", "n0004"));
         fleet.resume("n0004");
         assertTrue(fleet.untilAgreed(120 * S) >= 0);
     }
@@ -49,37 +49,37 @@
     /** A pause shorter than a suspicion is forgiven: it hears itself suspected and refutes. */
     @Test
     void aSuspectRefutes() {
-        Fleet fleet = joined(8, 0, 4);
+        SimulatedFleet fleet = joined(8, 0, 4);
         int before = fleet.changes().size();
         fleet.hang("n0005");
         fleet.pass(4 * S);
         fleet.resume("n0005");
         fleet.pass(20 * S);
-        assertTrue(of(fleet, "n0005", Standing.SUSPECT) > 0, "it was suspected");
+        assertTrue(of(fleet, "n0005", MemberState.SUSPECT) > 0, "it was suspected");
         assertTrue(fleet.changes().subList(before, fleet.changes().size()).stream()
-                .noneMatch(c -> c.standing() == Standing.DEAD));
+                .noneMatch(c -> c.standing() == MemberState.DEAD));
         assertTrue(fleet.agreed());
     }
 
     /** One that comes back with an incarnation of before is not believed until it has outbid what is held of it. */
     @Test
     void anOldIncarnationIsOutbid() {
-        Fleet fleet = joined(6, 0, 5);
+        SimulatedFleet fleet = joined(6, 0, 5);
         fleet.kill("n0003");
         fleet.pass(60 * S);
         fleet.restart("n0003", 0);
         assertTrue(fleet.untilAgreed(120 * S) >= 0);
-        assertEquals(Standing.ALIVE, fleet.standing("n0000", "n0003"));
+        assertEquals(MemberState.ALIVE, fleet.standing("n0000", "n0003"));
     }
 
     /** Two halves that can't reach each other for minutes hold each other dead, and find each other again. */
     @Test
     void twoHalvesMeetAgain() {
-        Fleet fleet = joined(12, 0, 6);
+        SimulatedFleet fleet = joined(12, 0, 6);
         fleet.part(true);
         fleet.pass(100 * S);
-        assertEquals(Standing.DEAD, fleet.standing("n0000", "n0001"));
-        assertEquals(Standing.ALIVE, fleet.standing("n0000", "n0002"));
+        assertEquals(MemberState.DEAD, fleet.standing("n0000", "n0001"));
+        assertEquals(MemberState.ALIVE, fleet.standing("n0000", "n0002"));
         fleet.pass(200 * S); // by now each half has forgotten the other
         fleet.part(false);
         assertTrue(fleet.untilAgreed(240 * S) >= 0);
@@ -89,7 +89,7 @@
     @ParameterizedTest
     @CsvSource({"5,0,800", "50,0,1500", "50,0.3,2500"})
     void aClaimReachesAll(int instances, double loss, long withinMs) {
-        Fleet fleet = joined(instances, loss, 12);
+        SimulatedFleet fleet = joined(instances, loss, 12);
         long ns = fleet.untilAllHear("n0002", 7, 30 * S);
         assertTrue(ns >= 0 && ns <= withinMs * 1_000_000, ns / 1_000_000 + " ms");
     }
@@ -97,7 +97,7 @@
     /** In two halves a claim stays in its half; it is not told later as if it were new. */
     @Test
     void aClaimOfBeforeIsNotNewAfterAPartition() {
-        Fleet fleet = joined(8, 0, 13);
+        SimulatedFleet fleet = joined(8, 0, 13);
         fleet.part(true);
         assertEquals(-1, fleet.untilAllHear("n0002", 7, 15 * S));
         fleet.kill("n0002");
@@ -111,11 +111,11 @@
     /** Good-bye is no death. */
     @Test
     void oneThatLeavesIsNotSuspected() {
-        Fleet fleet = joined(10, 0, 8);
+        SimulatedFleet fleet = joined(10, 0, 8);
         fleet.leave("n0007");
         fleet.pass(10 * S);
-        assertEquals(0, of(fleet, "n0007", Standing.SUSPECT) + of(fleet, "n0007", Standing.DEAD));
-        assertEquals(9, of(fleet, "n0007", Standing.LEFT));
+        assertEquals(0, of(fleet, "n0007", MemberState.SUSPECT) + of(fleet, "n0007", MemberState.DEAD));
+        assertEquals(9, of(fleet, "n0007", MemberState.LEFT));
     }
 
     /** With a third of all datagrams lost, Lifeguard's parts keep most members from being held dead. */
@@ -123,8 +123,8 @@
     void localHealthKeepsTheFalselyAccusedAlive() {
         long with = 0, without = 0;
         for (int seed = 1; seed <= 3; seed++) {
-            with += Trial.run(30, 0.3, true, 120, seed).falseDeaths();
-            without += Trial.run(30, 0.3, false, 120, seed).falseDeaths();
+            with += SimulationRun.run(30, 0.3, true, 120, seed).falseDeaths();
+            without += SimulationRun.run(30, 0.3, false, 120, seed).falseDeaths();
         }
         assertTrue(with * 4 <= without && without > 0, with + " with, " + without + " without");
     }
@@ -132,15 +132,15 @@
     /** What a member sends does not grow with the fleet. */
     @Test
     void trafficIsFlat() {
-        long few = Trial.run(5, 0, true, 60, 9).bytesPerS(),
-                many = Trial.run(200, 0, true, 60, 9).bytesPerS();
+        long few = SimulationRun.run(5, 0, true, 60, 9).bytesPerS(),
+                many = SimulationRun.run(200, 0, true, 60, 9).bytesPerS();
         assertTrue(many < 3 * few, few + " bytes a second of 5, " + many + " of 200");
     }
 
     @Test
     void oneSeedGivesTheSameBytes() {
         assertEquals(
-                Trial.run(40, 0.2, true, 30, 11).json(),
-                Trial.run(40, 0.2, true, 30, 11).json());
+                SimulationRun.run(40, 0.2, true, 30, 11).json(),
+                SimulationRun.run(40, 0.2, true, 30, 11).json());
     }
 }
--- a/src/test/java/elderseam/gossip/trust/EnvelopeCompatTest.java
+++ b/src/test/java/elderseam/gossip/security/EnvelopeCompatTest.java
@@ -1,15 +1,15 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.compat.RecordedBytes;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Codec;
+import elderseam.gossip.HealthReport;
 import elderseam.gossip.Message;
 import elderseam.gossip.Packet;
-import elderseam.gossip.trust.Door.Opened;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.security.PacketAuthenticator.Opened;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.nio.file.Files;
@@ -23,7 +23,7 @@
 class EnvelopeCompatTest {
     private static final long WALL_MS = 1_700_000_000_123L, NOW = 0, RANDOM = 0x0123_4567_89ab_cdefL;
     private static final Message MESSAGE = new Message.Ack(42);
-    private static final byte[] BODY = Codec.encode(new Packet(MESSAGE, List.of(), List.of()), Packet.DATAGRAM);
+    private static final byte[] BODY = PacketCodec.encode(new Packet(MESSAGE, List.of(), List.of()), Packet.DATAGRAM);
     private static final String KEYS = "gossip/keys", ROSTER = "roster";
 
     @TempDir
@@ -53,11 +53,11 @@
         atB = InetAddress.getByName("127.2.0.1");
     }
 
-    private Door door(String name, KeyFile key) {
-        return new Door(name, new Keyring(key, roster), () -> RANDOM, NOW);
+    private PacketAuthenticator door(String name, KeyFile key) {
+        return new PacketAuthenticator(name, new Keyring(key, roster), () -> RANDOM, NOW);
     }
 
-    private static Opened open(Door door, InetAddress from, byte[] bytes) {
+    private static Opened open(PacketAuthenticator door, InetAddress from, byte[] bytes) {
         return door.open(from, bytes, bytes.length, Packet.DATAGRAM, WALL_MS, NOW);
     }
 
@@ -88,13 +88,13 @@
     /** The first envelope, the hello that answers it, and one that opens; and the signature of a report. */
     @Test
     void envelopes() throws IOException {
-        Door a = door("a", keyA), b = door("b", keyB);
+        PacketAuthenticator a = door("a", keyA), b = door("b", keyB);
         byte[] first = a.seal("b", BODY, WALL_MS, NOW),
                 hello = open(b, atA, first).back();
         assertEquals("b", open(a, atB, hello).from());
         byte[] data = a.seal("b", BODY, WALL_MS, NOW);
-        byte[] claim =
-                Codec.sealed(new Claim("a", 1, 2, 3, Claim.State.OPEN, 4, 20, 10, 10_000), WALL_MS, keyA.number());
+        byte[] claim = PacketCodec.sealed(
+                new HealthReport("a", 1, 2, 3, HealthReport.State.OPEN, 4, 20, 10, 10_000), WALL_MS, keyA.number());
         byte[] signature = new Keyring(keyA, roster).seal(claim);
         List<String> written = List.of(
                 RecordedBytes.hex(first),
@@ -104,7 +104,7 @@
         List<String> recorded = RecordedBytes.lines("gossip/envelopes", written);
         assertEquals(recorded, written);
 
-        Door receiver = door("b", keyB), sender = door("a", keyA);
+        PacketAuthenticator receiver = door("b", keyB), sender = door("a", keyA);
         assertArrayEquals(
                 RecordedBytes.fromHex(recorded.get(1)),
                 open(receiver, atA, RecordedBytes.fromHex(recorded.get(0))).back());
--- a/src/test/java/elderseam/gossip/trust/DoorTest.java
+++ b/src/test/java/elderseam/gossip/security/PacketAuthenticatorTest.java
@@ -1,15 +1,15 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.gossip.Codec;
 import elderseam.gossip.Message;
 import elderseam.gossip.Packet;
-import elderseam.gossip.trust.Door.Drop;
-import elderseam.gossip.trust.Door.Opened;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.security.PacketAuthenticator.Drop;
+import elderseam.gossip.security.PacketAuthenticator.Opened;
 import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Who gets in, and what a recorded, copied, cut or invented envelope comes to. */
-class DoorTest {
+class PacketAuthenticatorTest {
     private static final long S = 1_000_000_000L;
     private static final int MOST = Packet.DATAGRAM;
 
@@ -31,7 +31,7 @@
     private KeyFile keyA, keyB, keyC;
     private Roster roster;
     private InetAddress atA, atB;
-    private Door a, b;
+    private PacketAuthenticator a, b;
     private long now;
     private int seed;
 
@@ -52,12 +52,12 @@
     }
 
     /** A new life of an instance. */
-    private Door door(String name, KeyFile key) {
-        return new Door(name, new Keyring(key, roster), new SplittableRandom(++seed), now);
+    private PacketAuthenticator door(String name, KeyFile key) {
+        return new PacketAuthenticator(name, new Keyring(key, roster), new SplittableRandom(++seed), now);
     }
 
     private static byte[] body(long number) {
-        return Codec.encode(new Packet(new Message.Ack(number), List.of(), List.of()), 100);
+        return PacketCodec.encode(new Packet(new Message.Ack(number), List.of(), List.of()), 100);
     }
 
     private byte[] fromA(long number) {
@@ -143,7 +143,7 @@
         byte[] hello = atB(fromA(0)).back();
         assertEquals("b", a.open(atB, hello, hello.length, MOST, 6, now).from());
         assertNull(a.open(atB, hello, hello.length, MOST, 6, now).from());
-        Door other = door("a", keyA);
+        PacketAuthenticator other = door("a", keyA);
         other.seal("b", body(1), 5, now);
         assertNull(other.open(atB, hello, hello.length, MOST, 6, now).from());
         assertEquals(1, other.dropped(Drop.HELLO));
@@ -238,7 +238,7 @@
         acquainted();
         byte[] good = fromA(2);
         Keyring keys = new Keyring(keyB, roster);
-        b = new Door("b", keys, new SplittableRandom(9), now);
+        b = new PacketAuthenticator("b", keys, new SplittableRandom(9), now);
         acquainted();
         keys.roster(roster("b 127.2.0.1 " + keyB.text()));
         b.remove("a");
--- a/src/test/java/elderseam/gossip/trust/RosterTest.java
+++ b/src/test/java/elderseam/gossip/security/RosterTest.java
@@ -1,4 +1,4 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/elderseam/gossip/net/FrameCompatTest.java
+++ b/src/test/java/elderseam/gossip/transport/FrameCompatTest.java
@@ -1,11 +1,11 @@
-package elderseam.gossip.net;
+package elderseam.gossip.transport;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.compat.RecordedBytes;
 import elderseam.core.Clock;
-import elderseam.http.Io;
+import elderseam.http.IoLoop;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -30,7 +30,7 @@
                 .array();
         byte[] frame = RecordedBytes.fromHex(RecordedBytes.lines("gossip/frame", List.of(RecordedBytes.hex(built)))
                 .get(0));
-        try (Exchanges server = new Exchanges(new Io(new Clock()), ANY_PORT, (line, bytes) -> {
+        try (StreamTransport server = new StreamTransport(new IoLoop(new Clock()), ANY_PORT, (line, bytes) -> {
                     line.send(Arrays.equals(ENVELOPE, bytes) ? bytes : new byte[] {0});
                     line.end();
                 });
@@ -44,12 +44,12 @@
 
     @Test
     void aDatagram() throws Exception {
-        Datagrams[] server = new Datagrams[1];
-        server[0] = new Datagrams(
-                new Io(new Clock()),
+        DatagramTransport[] server = new DatagramTransport[1];
+        server[0] = new DatagramTransport(
+                new IoLoop(new Clock()),
                 ANY_PORT,
                 (from, bytes, length) -> server[0].send(from, Arrays.copyOf(bytes, length)));
-        try (Datagrams closed = server[0];
+        try (DatagramTransport closed = server[0];
                 DatagramSocket client = new DatagramSocket(ANY_PORT)) {
             client.setSoTimeout(WAIT_MS);
             client.send(new DatagramPacket(ENVELOPE, ENVELOPE.length, closed.local()));
--- a/src/test/java/elderseam/upgrade/LinkTest.java
+++ b/src/test/java/elderseam/handover/HandoverChannelTest.java
@@ -1,4 +1,4 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -7,10 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import elderseam.core.Handover;
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -31,10 +31,10 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The link between two processes, and what travels on it. */
-class LinkTest {
+class HandoverChannelTest {
     private static final Handover.Passed PASSED =
             new Handover.Passed("m", 2, "h", true, new End(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
-    private static final Frame.Give GIVE = new Frame.Give(
+    private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
             "{\"name\":\"Österreich\"}",
             new Handover.Estate(new byte[] {1, 2, 3}, List.of(new Handover.Out("a", 1, "h", 5))),
             true);
@@ -42,23 +42,26 @@
     @TempDir
     Path folder;
 
-    private static byte[] bytes(Frame f) throws IOException {
+    private static byte[] bytes(HandoverFrame f) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         f.to(new DataOutputStream(out));
         return out.toByteArray();
     }
 
-    private static Frame read(byte[] bytes) throws IOException {
-        return Frame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
+    private static HandoverFrame read(byte[] bytes) throws IOException {
+        return HandoverFrame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
     }
 
     @Test
     void framesComeThroughWhole() throws Exception {
-        for (Frame f :
-                List.of(new Frame.Take(), new Frame.Owned(), new Frame.Abandon("m", 3), new Frame.Ended(PASSED))) {
+        for (HandoverFrame f : List.of(
+                new HandoverFrame.Take(),
+                new HandoverFrame.Owned(),
+                new HandoverFrame.Abandon("m", 3),
+                new HandoverFrame.Ended(PASSED))) {
             assertEquals(f, read(bytes(f)));
         }
-        Frame.Give back = (Frame.Give) read(bytes(GIVE));
+        HandoverFrame.Give back = (HandoverFrame.Give) read(bytes(GIVE));
         assertEquals(GIVE.list(), back.list());
         assertEquals(GIVE.estate().out(), back.estate().out());
         assertArrayEquals(GIVE.estate().learned(), back.estate().learned());
@@ -80,17 +83,17 @@
     @Test
     void framesPassBothWaysAndAnEndIsSeen() throws Exception {
         BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        BlockingQueue<Link> older = new LinkedBlockingQueue<>();
-        try (ServerSocketChannel server = Link.listen(folder, l -> {
+        BlockingQueue<HandoverChannel> older = new LinkedBlockingQueue<>();
+        try (ServerSocketChannel server = HandoverChannel.listen(folder, l -> {
             older.add(l);
             l.read(f -> seen.add(f.toString()), () -> seen.add("lost"));
         })) {
             assertTrue(server.isOpen());
-            Link link = Link.connect(folder);
-            link.send(new Frame.Take());
-            assertEquals(new Frame.Take().toString(), seen.poll(5, TimeUnit.SECONDS));
-            older.take().send(new Frame.Ended(PASSED));
-            assertEquals(new Frame.Ended(PASSED), link.await());
+            HandoverChannel link = HandoverChannel.connect(folder);
+            link.send(new HandoverFrame.Take());
+            assertEquals(new HandoverFrame.Take().toString(), seen.poll(5, TimeUnit.SECONDS));
+            older.take().send(new HandoverFrame.Ended(PASSED));
+            assertEquals(new HandoverFrame.Ended(PASSED), link.await());
             link.close();
             assertEquals("lost", seen.poll(5, TimeUnit.SECONDS));
             assertNull(link.await());
@@ -102,9 +105,9 @@
     void noiseEndsTheLink() throws Exception {
         BlockingQueue<String> seen = new LinkedBlockingQueue<>();
         try (ServerSocketChannel server =
-                Link.listen(folder, l -> l.read(f -> seen.add(f.toString()), () -> seen.add("lost")))) {
+                HandoverChannel.listen(folder, l -> l.read(f -> seen.add(f.toString()), () -> seen.add("lost")))) {
             assertTrue(server.isOpen());
-            for (int length : new int[] {-1, 0, Frame.MOST + 1, 100}) {
+            for (int length : new int[] {-1, 0, HandoverFrame.MOST + 1, 100}) {
                 try (SocketChannel raw = SocketChannel.open(UnixDomainSocketAddress.of(folder.resolve("handover")))) {
                     raw.write(
                             ByteBuffer.allocate(5).putInt(length).put((byte) 1).flip());
@@ -118,22 +121,22 @@
     /** What a dead process left: a socket that nobody listens on, or no socket at all. */
     @Test
     void aStaleSocketIsNobodysAndIsReplaced() throws Exception {
-        assertNull(Link.connect(folder));
+        assertNull(HandoverChannel.connect(folder));
         ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                 .bind(UnixDomainSocketAddress.of(folder.resolve("handover")))
                 .close();
         assertTrue(Files.exists(folder.resolve("handover")));
-        assertNull(Link.connect(folder));
-        Link.listen(folder, Link::close).close();
+        assertNull(HandoverChannel.connect(folder));
+        HandoverChannel.listen(folder, HandoverChannel::close).close();
         Files.delete(folder.resolve("handover"));
         Files.writeString(folder.resolve("handover"), "half");
-        assertNull(Link.connect(folder));
+        assertNull(HandoverChannel.connect(folder));
     }
 
     /** The lock is one owner's alone, and free once it is let go. */
     @Test
     void theFolderHasOneOwner() throws Exception {
-        Owner one = new Owner(folder), other = new Owner(folder);
+        OwnershipLock one = new OwnershipLock(folder), other = new OwnershipLock(folder);
         assertTrue(one.take());
         assertTrue(one.take());
         assertFalse(other.take());
--- a/src/test/java/elderseam/upgrade/HandoverModelTest.java
+++ b/src/test/java/elderseam/handover/HandoverModelTest.java
@@ -1,4 +1,4 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -26,18 +26,18 @@
 
     /** The world after some events, played anew for each order. */
     private static final class World {
-        final Giving giving = new Giving();
-        final Taking taking = new Taking();
+        final HandoverSender giving = new HandoverSender();
+        final HandoverReceiver taking = new HandoverReceiver();
         final ArrayDeque<String> toOld = new ArrayDeque<>(), toNew = new ArrayDeque<>();
         boolean oldAlive = true, newAlive = true, linked, oldSawEnd = true, newSawEnd = true, regaining, resumed;
         String lock = "old";
 
         boolean oldOwns() {
-            return oldAlive && giving.state() == Giving.State.OWNER && !regaining;
+            return oldAlive && giving.state() == HandoverSender.State.OWNER && !regaining;
         }
 
         boolean newOwns() {
-            return newAlive && taking.state() == Taking.State.OWNER;
+            return newAlive && taking.state() == HandoverReceiver.State.OWNER;
         }
 
         private void lose() {
@@ -47,8 +47,8 @@
 
         private boolean possible(Event e) {
             return switch (e) {
-                case LOOK -> newAlive && taking.state() == Taking.State.SEEKING && newSawEnd;
-                case WARM -> newAlive && taking.state() == Taking.State.WARMING;
+                case LOOK -> newAlive && taking.state() == HandoverReceiver.State.SEEKING && newSawEnd;
+                case WARM -> newAlive && taking.state() == HandoverReceiver.State.WARMING;
                 case TO_OLD ->
                     oldAlive && (linked ? !toOld.isEmpty() : !oldSawEnd); // what was written is read, also after
                 case TO_NEW ->
@@ -68,7 +68,7 @@
             switch (e) {
                 case LOOK -> look();
                 case WARM -> {
-                    assertEquals(Taking.Step.ASK, taking.warm());
+                    assertEquals(HandoverReceiver.Step.ASK, taking.warm());
                     toOld.add("take");
                 }
                 case TO_OLD -> old(toOld.poll());
@@ -92,11 +92,13 @@
         }
 
         private void look() {
-            boolean link = oldAlive && giving.state() == Giving.State.OWNER && !regaining && oldSawEnd;
+            boolean link = oldAlive && giving.state() == HandoverSender.State.OWNER && !regaining && oldSawEnd;
             boolean locked = !link && lock.isEmpty();
             lock = locked ? "new" : lock;
             assertEquals(
-                    link ? Taking.Step.WARM : locked ? Taking.Step.RECOVER : Taking.Step.LOOK_AGAIN,
+                    link
+                            ? HandoverReceiver.Step.WARM
+                            : locked ? HandoverReceiver.Step.RECOVER : HandoverReceiver.Step.LOOK_AGAIN,
                     taking.looked(link, locked));
             if (link) {
                 linked = true;
@@ -115,16 +117,16 @@
         private void old(String frame) {
             if (frame == null) {
                 oldSawEnd = true;
-                Giving.Step step = giving.lost();
-                regaining |= step == Giving.Step.RESUME;
-                oldAlive &= step != Giving.Step.FAIL;
+                HandoverSender.Step step = giving.lost();
+                regaining |= step == HandoverSender.Step.RESUME;
+                oldAlive &= step != HandoverSender.Step.FAIL;
             } else if (frame.equals("take")) {
-                if (giving.asked() == Giving.Step.GIVE) {
+                if (giving.asked() == HandoverSender.Step.GIVE) {
                     lock = "";
                     toNew.add("give");
                 }
             } else {
-                assertEquals(Giving.Step.LEAVE, giving.owned());
+                assertEquals(HandoverSender.Step.LEAVE, giving.owned());
             }
         }
 
@@ -136,10 +138,10 @@
             }
             boolean locked = lock.isEmpty();
             lock = locked ? "new" : lock;
-            Taking.Step step = taking.given(locked);
-            if (step == Taking.Step.TAKE && linked) {
+            HandoverReceiver.Step step = taking.given(locked);
+            if (step == HandoverReceiver.Step.TAKE && linked) {
                 toOld.add("owned");
-            } else if (step != Taking.Step.TAKE && linked) {
+            } else if (step != HandoverReceiver.Step.TAKE && linked) {
                 lose(); // as Accession closes it
             }
         }
@@ -183,7 +185,7 @@
             if (!moves && (w.oldAlive || w.newAlive)) { // nothing more happens by itself
                 ends++;
                 assertTrue(
-                        w.oldOwns() || w.newOwns() || !w.newAlive && w.giving.state() == Giving.State.GONE,
+                        w.oldOwns() || w.newOwns() || !w.newAlive && w.giving.state() == HandoverSender.State.GONE,
                         () -> "nobody owns after " + past);
             }
         }
@@ -200,7 +202,7 @@
     void theUsualCourse() {
         World w = played(List.of(Event.LOOK, Event.WARM, Event.TO_OLD, Event.TO_NEW, Event.TO_OLD));
         assertTrue(w.newOwns());
-        assertEquals(Giving.State.GONE, w.giving.state());
+        assertEquals(HandoverSender.State.GONE, w.giving.state());
     }
 
     @Test
--- a/src/test/java/elderseam/http/ProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.core.Clock;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,14 +17,14 @@
 import org.junit.jupiter.api.Test;
 
 /** How far an attempt had come when it broke: only past its last byte may the other side have run it. */
-class ProgressTest {
+class AttemptProgressTest {
     private static final InetAddress HERE = here(); // where no other test listens: a port given back stays free
-    private final Io io;
-    private final Connections connections;
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
 
-    ProgressTest() throws Exception {
-        io = new Io(new Clock());
-        connections = new Connections(io, 1_000 * Clock.MS, 50, 64 << 10);
+    AttemptProgressTest() throws Exception {
+        io = new IoLoop(new Clock());
+        connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, 50, 64 << 10);
     }
 
     private static InetAddress here() {
@@ -35,20 +35,20 @@
         }
     }
 
-    private CompletableFuture<Reply> send(int port, int bytes, long connectMs) {
-        CompletableFuture<Reply> reply = new CompletableFuture<>();
+    private CompletableFuture<HttpResult> send(int port, int bytes, long connectMs) {
+        CompletableFuture<HttpResult> reply = new CompletableFuture<>();
         long by = io.clock.now() + 10_000 * Clock.MS;
         io.run(() -> connections.send(
-                new UpstreamHost("h", HERE.getHostAddress() + ":" + port),
-                new Call("POST", "/x", Map.of(), new byte[bytes]),
+                new EndpointAddress("h", HERE.getHostAddress() + ":" + port),
+                new HttpRequest("POST", "/x", Map.of(), new byte[bytes]),
                 io.clock.now() + connectMs * Clock.MS,
                 by,
                 reply::complete));
         return reply;
     }
 
-    private static void check(Progress progress, Status failure, CompletableFuture<Reply> reply) throws Exception {
-        Reply r = reply.get(20, TimeUnit.SECONDS);
+    private static void check(Progress progress, Status failure, CompletableFuture<HttpResult> reply) throws Exception {
+        HttpResult r = reply.get(20, TimeUnit.SECONDS);
         assertEquals(List.of(progress, failure), List.of(r.progress(), r.failure()));
     }
 
@@ -70,7 +70,7 @@
     @Test
     void aConnectionThatNeverComesUp() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            List<CompletableFuture<Reply>> replies = new ArrayList<>();
+            List<CompletableFuture<HttpResult>> replies = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
                 replies.add(send(server.getLocalPort(), 10, 700));
             }
@@ -81,13 +81,13 @@
     @Test
     void aBreakBeforeAndAfterTheLastByte() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            CompletableFuture<Reply> large = send(server.getLocalPort(), 32 << 20, 5_000);
+            CompletableFuture<HttpResult> large = send(server.getLocalPort(), 32 << 20, 5_000);
             try (Socket s = server.accept()) {
                 s.getInputStream().readNBytes(100);
                 s.setSoLinger(true, 0);
             }
             check(Progress.PARTLY_WRITTEN, Status.BROKEN, large);
-            CompletableFuture<Reply> small = send(server.getLocalPort(), 10, 5_000);
+            CompletableFuture<HttpResult> small = send(server.getLocalPort(), 10, 5_000);
             try (Socket s = server.accept()) {
                 head(s.getInputStream());
                 s.getInputStream().readNBytes(10);
@@ -101,14 +101,14 @@
     @Test
     void whatMayNotLeaveWritesNothing() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            UpstreamHost host = new UpstreamHost("h", HERE.getHostAddress() + ":" + server.getLocalPort());
-            Call call = new Call("POST", "/x", Map.of(), new byte[10]);
+            EndpointAddress host = new EndpointAddress("h", HERE.getHostAddress() + ":" + server.getLocalPort());
+            HttpRequest call = new HttpRequest("POST", "/x", Map.of(), new byte[10]);
             long by = io.clock.now() + 10_000 * Clock.MS;
-            CompletableFuture<Reply> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
+            CompletableFuture<HttpResult> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
             io.run(() -> connections.send(host, call, by, by, () -> false, () -> {}, null, held::complete));
             check(Progress.NOT_CONNECTED, Status.HELD, held);
-            io.run(() ->
-                    connections.send(host, new Call("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
+            io.run(() -> connections.send(
+                    host, new HttpRequest("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
             try (Socket s = server.accept()) {
                 assertEquals("POST /later", new String(s.getInputStream().readNBytes(11)));
                 s.setSoLinger(true, 0);
@@ -121,12 +121,12 @@
     @Test
     void anAnswerThatHasArrivedCountsBeforeAnyGivingUp() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            UpstreamHost host = new UpstreamHost("h", HERE.getHostAddress() + ":" + server.getLocalPort());
-            Call call = new Call("POST", "/x", Map.of(), new byte[0]);
+            EndpointAddress host = new EndpointAddress("h", HERE.getHostAddress() + ":" + server.getLocalPort());
+            HttpRequest call = new HttpRequest("POST", "/x", Map.of(), new byte[0]);
             long by = io.clock.now() + 10_000 * Clock.MS;
             for (boolean before : List.of(true, false)) {
-                CompletableFuture<Reply> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
-                CompletableFuture<Connections.Request> request = new CompletableFuture<>();
+                CompletableFuture<HttpResult> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
+                CompletableFuture<EndpointConnectionPool.Request> request = new CompletableFuture<>();
                 io.run(() -> request.complete(
                         connections.send(host, call, by, by, () -> true, () -> {}, late::complete, reply::complete)));
                 try (Socket s = server.accept()) {
@@ -163,7 +163,7 @@
         try (ServerSocket one = new ServerSocket(0, 1, HERE);
                 ServerSocket other = new ServerSocket(0, 1, HERE)) {
             io.run(() -> connections.most(1));
-            CompletableFuture<Reply> first = send(one.getLocalPort(), 10, 5_000);
+            CompletableFuture<HttpResult> first = send(one.getLocalPort(), 10, 5_000);
             Socket carrying = one.accept();
             head(carrying.getInputStream());
             carrying.getInputStream().readNBytes(10);
--- a/src/test/java/elderseam/http/ClosingTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -23,20 +23,20 @@
 import org.xnio.Options;
 
 /** How downstream connections end: in order, over nothing unread, and none without an answer that a client waits for. */
-class ClosingTest {
+class ConnectionCloseTest {
     private static final String GET = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final int MOST = 3;
 
-    private final BlockingQueue<Server.Answerer> asked =
+    private final BlockingQueue<HttpServer.Answerer> asked =
             new LinkedBlockingQueue<>(); // of requests for anything but /now
     private final List<Socket> clients = new ArrayList<>();
-    private Io io;
-    private Server server;
+    private IoLoop io;
+    private HttpServer server;
 
     @BeforeEach
     void serve() throws Exception {
-        io = new Io(new Clock());
-        server = new Server(
+        io = new IoLoop(new Clock());
+        server = new HttpServer(
                 io,
                 new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 99, 0, 2}), 0),
                 64 << 10,
@@ -137,7 +137,7 @@
         send(s, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
         sent.complete(null);
         done.get(20, TimeUnit.SECONDS);
-        Server.Answerer to = asked.poll(20, TimeUnit.SECONDS);
+        HttpServer.Answerer to = asked.poll(20, TimeUnit.SECONDS);
         io.run(() -> to.answer(202, Map.of(), ""));
         assertTrue(answer(s).startsWith("HTTP/1.1 202"));
     }
@@ -192,7 +192,7 @@
     void noNewConnectionEndsWithoutAnAnswer() throws Exception {
         Socket idle = resting();
         List<Socket> busy = new ArrayList<>();
-        List<Server.Answerer> open = new ArrayList<>();
+        List<HttpServer.Answerer> open = new ArrayList<>();
         for (int i = 0; i < MOST; i++) {
             busy.add(client("GET /later HTTP/1.1\r\nHost: a\r\n\r\n"));
             open.add(asked.poll(20, TimeUnit.SECONDS));
@@ -241,7 +241,7 @@
     @Test
     void aFreshConnectionIsToldToComeAgainAtTheEnd() throws Exception {
         Socket fresh = client(""), busy = client("GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
-        Server.Answerer to = asked.poll(20, TimeUnit.SECONDS);
+        HttpServer.Answerer to = asked.poll(20, TimeUnit.SECONDS);
         onIo(() -> server.closing(true));
         onIo(server::endConnections);
         send(fresh, GET);
@@ -258,15 +258,15 @@
     void noSideDelaysSmallWrites() throws Exception {
         resting();
         CompletableFuture<List<Boolean>> delayed = new CompletableFuture<>();
-        Connections connections = new Connections(io, 1_000 * Clock.MS, 5, 1 << 10);
-        UpstreamHost self = new UpstreamHost(
+        EndpointConnectionPool connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, 5, 1 << 10);
+        EndpointAddress self = new EndpointAddress(
                 "self",
                 server.address().getAddress().getHostAddress() + ":"
                         + server.address().getPort());
-        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        CompletableFuture<HttpResult> reply = new CompletableFuture<>();
         io.run(() -> connections.send(
                 self,
-                Call.get("/now"),
+                HttpRequest.get("/now"),
                 io.clock.now() + 9_000 * Clock.MS,
                 io.clock.now() + 9_000 * Clock.MS,
                 reply::complete));
--- a/src/test/java/elderseam/http/InheritedTest.java
+++ b/src/test/java/elderseam/http/InheritedListenerTest.java
@@ -16,14 +16,14 @@
 import org.junit.jupiter.api.Test;
 
 /** A listening socket that others hold too: two servers on it, as two processes have, one accepting at a time. */
-class InheritedTest {
+class InheritedListenerTest {
     private static final String ASK = "GET /who HTTP/1.1\r\nHost: x\r\n\r\n";
 
-    private static Server server(Io io, ServerSocketChannel socket, String name) throws Exception {
-        CompletableFuture<Server> made = new CompletableFuture<>();
+    private static HttpServer server(IoLoop io, ServerSocketChannel socket, String name) throws Exception {
+        CompletableFuture<HttpServer> made = new CompletableFuture<>();
         io.run(() -> {
             try {
-                made.complete(new Server(
+                made.complete(new HttpServer(
                         io,
                         (InetSocketAddress) socket.getLocalAddress(),
                         socket,
@@ -55,8 +55,8 @@
     void connectionsGoToWhoeverAcceptsAndAreKept() throws Exception {
         try (ServerSocketChannel socket =
                 ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
-            Io io = new Io(new Clock());
-            Server older = server(io, socket, "older");
+            IoLoop io = new IoLoop(new Clock());
+            HttpServer older = server(io, socket, "older");
             InetSocketAddress at = older.address();
             Socket kept = new Socket(at.getAddress(), at.getPort());
             assertEquals("older", ask(kept));
@@ -67,7 +67,7 @@
             });
             stopped.get(5, TimeUnit.SECONDS);
             Socket between = new Socket(at.getAddress(), at.getPort()); // waits at the socket, which nobody closes
-            Server newer = server(io, socket, "newer");
+            HttpServer newer = server(io, socket, "newer");
             assertEquals("newer", ask(between));
             assertEquals("older", ask(kept), "a connection stays where it was accepted, and is kept");
             assertTrue(newer.open() >= 1);
--- a/src/test/java/elderseam/module/AdviceTest.java
+++ b/src/test/java/elderseam/policy/AdviceTest.java
@@ -1,9 +1,9 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -12,7 +12,7 @@
 
 /** What others' word may do to a breaker, and what it may not. */
 class AdviceTest {
-    private final Rig rig = Rig.simple(8); // destination 1 is listed
+    private final PolicyTestHarness rig = PolicyTestHarness.simple(8); // destination 1 is listed
 
     private Sender.Breaker breaker() {
         List<Sender.Breaker> seen = new ArrayList<>();
--- a/src/test/java/elderseam/module/BreakerTest.java
+++ b/src/test/java/elderseam/policy/BreakerTest.java
@@ -1,19 +1,19 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class BreakerTest {
-    private final Rig rig = Rig.simple(8);
+    private final PolicyTestHarness rig = PolicyTestHarness.simple(8);
 
     private void warm() {
         for (int i = 0; i < 12; i++) {
@@ -46,12 +46,12 @@
 
     @Test
     void everyOutcomeGivesItsTicketBackOnce() {
-        Sender.Settings settings = Rig.settings(8, new Sender.Kind(false, 1), false);
+        Sender.Settings settings = PolicyTestHarness.settings(8, new Sender.Kind(false, 1), false);
         for (Result result : Result.values()) {
-            Rig r = new Rig(settings, 3);
-            r.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY));
+            PolicyTestHarness r = new PolicyTestHarness(settings, 3);
+            r.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
             String id = r.submit(0, -1, 1);
-            Rig.Attempt a = r.only(id);
+            PolicyTestHarness.Attempt a = r.only(id);
             r.answer(id, result);
             // a repeated outcome is passed over
             r.brain.outcome(
@@ -181,7 +181,7 @@
     /** isolates: once failing, a destination holds at most half of the slots, here a quarter, also while it hangs. */
     @Test
     void aFailingDestinationHoldsAtMostHalfOfTheSlots() {
-        Rig r = Rig.simple(16);
+        PolicyTestHarness r = PolicyTestHarness.simple(16);
         for (int i = 0; i < 2; i++) {
             r.answer(r.submit(0, -1, 1), Result.ERROR);
         }
@@ -198,7 +198,7 @@
      */
     @Test
     void aCallDecidedInTheKeysWindowDoesNotBeginAfterIt() {
-        Rig r = Rig.simple(8);
+        PolicyTestHarness r = PolicyTestHarness.simple(8);
         String id = r.submit(1, -1, 1);
         r.answer(id, Result.TIMEOUT); // it may have run: 6 s from its start
         r.pass(300 * MS);
@@ -212,11 +212,11 @@
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
     void aCallWithMoreMessagesGoesFirst() {
-        Rig r = new Rig(Rig.settings(1, new Sender.Kind(false, 5), false), 1);
+        PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(1, new Sender.Kind(false, 5), false), 1);
         r.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 2, 0, Listing.READY));
+                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
         r.take(0, -1, 1);
         for (int i = 0; i < 4; i++) {
             r.take(0, -1, 2);
@@ -237,7 +237,7 @@
         int delivered = 0;
         for (int i = 0; i < 500; i++) {
             rig.pass(10 * MS);
-            for (Rig.Attempt a : rig.out()) {
+            for (PolicyTestHarness.Attempt a : rig.out()) {
                 rig.answer(a, Result.DELIVERED, 0);
                 delivered++;
             }
@@ -249,10 +249,10 @@
     /** Cost follows what is going on, not the length of the list: an idle sender sets no timer at all. */
     @Test
     void anIdleSenderWithALongListSetsNoTimers() {
-        Rig r = new Rig(Rig.settings(8, new Sender.Kind(false, 1), false), 1);
+        PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(8, new Sender.Kind(false, 1), false), 1);
         Sender.Endpoint[] many = new Sender.Endpoint[2000];
         for (int i = 0; i < many.length; i++) {
-            many[i] = Rig.endpoint("a:" + i, i, 0, Listing.READY);
+            many[i] = PolicyTestHarness.endpoint("a:" + i, i, 0, Listing.READY);
         }
         r.list(Sender.ListKind.CACHED, many);
         String id = r.submit(0, -1, 7);
@@ -274,9 +274,9 @@
         assertTrue(rig.timersSet - before <= 12, rig.timersSet - before + " timers");
     }
 
-    private static Rig shared(int senders, long seed) {
-        Sender.Settings s = Rig.settings(3, new Sender.Kind(false, 1), false);
-        Rig r = new Rig(
+    private static PolicyTestHarness shared(int senders, long seed) {
+        Sender.Settings s = PolicyTestHarness.settings(3, new Sender.Kind(false, 1), false);
+        PolicyTestHarness r = new PolicyTestHarness(
                 new Sender.Settings(
                         s.classes(),
                         s.kinds(),
@@ -316,11 +316,11 @@
             int early = 0;
             int late = 0;
             for (int i = 0; i < 60; i++) {
-                Rig r = shared(60, i);
+                PolicyTestHarness r = shared(60, i);
                 r.submit(0, -1, 1);
                 for (int step = 0; step < 400; step++) { // 20 s of outage
                     r.pass(50 * MS);
-                    for (Rig.Attempt a : r.out()) {
+                    for (PolicyTestHarness.Attempt a : r.out()) {
                         r.answer(a, fault, 0);
                         early += step < 200 ? 1 : 0;
                         late += step < 200 ? 0 : 1;
@@ -336,17 +336,18 @@
     /** Later Kingston: one endpoint fails one class; the others go on there and the breaker stays closed. */
     @Test
     void anEndpointThatFailsOneClassIsLeftOutForThatClassOnly() {
-        Rig r = new Rig(Rig.settings(12, new Sender.Kind(false, 1), false), 5);
+        PolicyTestHarness r =
+                new PolicyTestHarness(PolicyTestHarness.settings(12, new Sender.Kind(false, 1), false), 5);
         r.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 1, 1, Listing.READY)); // farther: taken only instead
+                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 1, Listing.READY)); // farther: taken only instead
         int failed = 0;
         int others = 0;
         for (int i = 0; i < 300; i++) {
             r.submit(i % 2 == 0 ? 2 : 0, -1, 1);
             r.pass(100 * MS);
-            for (Rig.Attempt a : r.out()) {
+            for (PolicyTestHarness.Attempt a : r.out()) {
                 boolean payment = r.messages.get(a.id()).msg.cls() == 2;
                 if (a.endpoint().equals("a:1") && payment) {
                     failed += i >= 100 ? 1 : 0;
@@ -366,13 +367,13 @@
     /** Overload day: couriers that knew sent a partly failing route twice its rate, and on to its return. */
     @Test
     void aMostlyFailingSharedDestinationCountsAsColdBelowTheFloor() {
-        Rig r = shared(40, 3);
+        PolicyTestHarness r = shared(40, 3);
         int sent = 0;
         for (int step = 0; step < 400; step++) { // 20 s: two of three calls fail, never four in a row
             if (step % 10 == 0) {
                 r.submit(0, -1, 1);
             }
-            for (Rig.Attempt a : r.out()) {
+            for (PolicyTestHarness.Attempt a : r.out()) {
                 r.answer(a, sent++ % 3 == 2 ? Result.DELIVERED : Result.ERROR, 0);
             }
             r.brain.turnEnd(r.now);
@@ -384,8 +385,8 @@
     /** Incident i527d1f: 214 of 411 couriers called a refusing route twice each, the second a second later. */
     @Test
     void theFirstPauseIsLongAfterAFailedConnectionAndShortAfterARefusal() {
-        Rig down = shared(200, 3);
-        Rig full = shared(200, 3);
+        PolicyTestHarness down = shared(200, 3);
+        PolicyTestHarness full = shared(200, 3);
         down.pass(S);
         down.answer(down.submit(0, -1, 1), Result.CONNECT_FAILED);
         full.answer(full.submit(0, -1, 1), Result.FULL);
@@ -399,7 +400,7 @@
     @Test
     void aSecondRefusalWithoutADeliveryPausesForLong() {
         for (long seed = 1; seed <= 20; seed++) {
-            Rig r = shared(200, seed);
+            PolicyTestHarness r = shared(200, seed);
             r.pass(S);
             String id = r.submit(0, -1, 1);
             r.answer(id, Result.FULL);
@@ -415,7 +416,7 @@
     void manyDoNotComeTogetherAtTheEndOfALongToldWait() {
         int atOnce = 0;
         for (long seed = 1; seed <= 40; seed++) {
-            Rig r = shared(200, seed);
+            PolicyTestHarness r = shared(200, seed);
             r.pass(S);
             String id = r.submit(0, -1, 1);
             r.answer(r.only(id), Result.FULL, 5000 * MS);
--- a/src/test/java/elderseam/module/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -1,12 +1,12 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.compat.CoreProcess;
 import elderseam.compat.Recorded;
-import elderseam.module.Books.Destination;
-import elderseam.module.Books.Target;
-import elderseam.module.Sender.Listing;
+import elderseam.policy.Books.Destination;
+import elderseam.policy.Books.Target;
+import elderseam.policy.Sender.Listing;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -117,7 +117,7 @@
     }
 
     private static List<String> carry(Notes notes) {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
+        DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         brain.carry(NOW, notes);
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
@@ -138,8 +138,8 @@
     /** One that has done nothing yet: what follows the endpoints has values of its own, by which its order is seen. */
     @Test
     void aFreshSenderWritesAsBefore() throws IOException {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
-        brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(Rig.endpoint("a1", 5, 1, Listing.READY)));
+        DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
+        brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, Listing.READY)));
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
         Recorded.assertLines(FRESH, written.lines);
@@ -147,7 +147,7 @@
 
     @Test
     void eachFieldHasItsPlace() throws IOException {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
+        DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         Map<String, Target> endpoints = new LinkedHashMap<>();
         Books.carry(new Notes(Recorded.lines(VALUES).iterator(), null), endpoints, e -> {
             Destination d = new Destination(e.destination(), SETTINGS.kinds().get(e.kind()), NOW);
@@ -162,7 +162,7 @@
     }
 
     private static List<String> fields(Target t) {
-        Brain.Circuit c = t.circuit;
+        DispatchPolicy.Circuit c = t.circuit;
         LongUnaryOperator ago = time -> (NOW - time) / 1_000_000_000L;
         return List.of(
                 "endpoint " + t.address,
--- a/src/test/java/elderseam/module/ChurnTest.java
+++ b/src/test/java/elderseam/policy/ChurnTest.java
@@ -1,13 +1,13 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.ListKind;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.ListKind;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.lang.reflect.Field;
 import java.util.Collection;
 import java.util.Map;
@@ -15,10 +15,10 @@
 
 /** Endpoints and destinations that come and go for ever. */
 class ChurnTest {
-    private final Rig rig = Rig.simple(8);
+    private final PolicyTestHarness rig = PolicyTestHarness.simple(8);
 
     private int size(String table) throws ReflectiveOperationException {
-        Field field = Brain.class.getDeclaredField(table);
+        Field field = DispatchPolicy.class.getDeclaredField(table);
         field.setAccessible(true);
         Object value = field.get(rig.brain);
         return value instanceof Map<?, ?> map ? map.size() : ((Collection<?>) value).size();
@@ -28,10 +28,10 @@
     @Test
     void nothingGrowsWithIdsThatAreGone() throws ReflectiveOperationException {
         for (int i = 0; i < 100; i++) {
-            rig.list(ListKind.CHANGES, Rig.endpoint("e" + i, 100 + i, 0, Listing.READY));
+            rig.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.READY));
             rig.answer(rig.submit(2, i, 100 + i), Result.DELIVERED);
             rig.answer(rig.submit(2, 1_000 + i, 100 + i), Result.RESET); // its lane rests for a while
-            rig.list(ListKind.CHANGES, Rig.endpoint("e" + i, 100 + i, 0, Listing.GONE));
+            rig.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.GONE));
             rig.pass(S);
         }
         assertEquals(1, size("targets"));
@@ -44,7 +44,7 @@
     @Test
     void aSuccessorStartsAnew() throws ReflectiveOperationException {
         String id = rig.submit(0, -1, 1);
-        rig.list(ListKind.WHOLE, Rig.endpoint("b:1", 1, 0, Listing.READY));
+        rig.list(ListKind.WHOLE, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
         assertEquals(2, size("targets"));
         rig.answer(id, Result.DELIVERED);
         rig.list(ListKind.CHANGES);
--- a/src/test/java/elderseam/module/ConnectionsTest.java
+++ b/src/test/java/elderseam/policy/ConnectionsTest.java
@@ -1,25 +1,25 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What is done with connections that stay idle. */
 class ConnectionsTest {
-    private final Rig rig = new Rig(many(false, Sender.Rates.UNTOLD), 7);
+    private final PolicyTestHarness rig = new PolicyTestHarness(many(false, Sender.Rates.UNTOLD), 7);
 
     ConnectionsTest() {
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY));
+        rig.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
     }
 
     private static Sender.Settings many(boolean apart, Sender.Rates rates) {
-        Sender.Settings s = Rig.settings(8, new Sender.Kind(apart, 1), false);
+        Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(apart, 1), false);
         return new Sender.Settings(
                 s.classes(),
                 s.kinds(),
@@ -62,7 +62,7 @@
     /** 20 to 53% of attempts at endpoints of few connections found them taken by idle ones. */
     @Test
     void idleConnectionsAreClosedOnceOneFailedToOpen() {
-        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("b:1", 2, 0, Listing.READY));
+        rig.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
         deliver(1);
         assertEquals(0, disconnects("a:1"), "kept while all connect");
         rig.answer(rig.submit(0, -1, 2), Result.CONNECT_FAILED);
@@ -77,7 +77,7 @@
         rig.answer(rig.submit(0, -1, 1), Result.CONNECT_FAILED);
         rig.pass(S);
         long before = disconnects("a:1");
-        List<Rig.Attempt> out = rig.out();
+        List<PolicyTestHarness.Attempt> out = rig.out();
         rig.take(1, -1, 1);
         out.forEach(a -> rig.answer(a, Result.DELIVERED, 0));
         rig.brain.turnEnd(rig.now);
@@ -107,7 +107,7 @@
     /** A call that breaks off in the middle says nothing of idling: every such reset used to halve what a kind keeps. */
     @Test
     void aLateResetIsNoSignOfIdling() {
-        Rig few = Rig.simple(8);
+        PolicyTestHarness few = PolicyTestHarness.simple(8);
         String first = few.submit(0, -1, 1);
         few.pass(50 * MS);
         few.answer(first, Result.DELIVERED);
@@ -127,7 +127,7 @@
     void sendersSpreadOverRoutesByTheirRates() {
         int[] sent = new int[2];
         for (int seed = 0; seed < 60; seed++) {
-            Rig r = new Rig(many(true, Sender.Rates.EXACT), seed);
+            PolicyTestHarness r = new PolicyTestHarness(many(true, Sender.Rates.EXACT), seed);
             r.list(
                     Sender.ListKind.CACHED,
                     new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 2),
@@ -139,8 +139,8 @@
 
     @Test
     void aDearRouteIsTakenOnlyWhileTheCheapOneRests() {
-        Sender.Settings s = Rig.settings(8, new Sender.Kind(true, 1), false);
-        Rig r = new Rig(
+        Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(true, 1), false);
+        PolicyTestHarness r = new PolicyTestHarness(
                 new Sender.Settings(
                         s.classes(),
                         s.kinds(),
@@ -168,8 +168,8 @@
                 5);
         r.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("dear:1", 1, 0, Listing.READY),
-                Rig.endpoint("cheap:1", 1, 1, Listing.READY));
+                PolicyTestHarness.endpoint("dear:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("cheap:1", 1, 1, Listing.READY));
         String first = r.submit(0, -1, 1);
         assertEquals("cheap:1", r.only(first).endpoint());
         r.answer(first, Result.ERROR);
--- a/src/test/java/elderseam/module/EmbeddingTest.java
+++ b/src/test/java/elderseam/policy/EmbeddingTest.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -91,7 +91,7 @@
                 0,
                 new Sender.Connections(10_000_000_000L, 1, 1_500_000_000L),
                 new Sender.Prices(0.05, 0, List.of()));
-        var brain = new Brain(settings, 42, host); // host implements Sender.Actions
+        var brain = new DispatchPolicy(settings, 42, host); // host implements Sender.Actions
         brain.endpoints(
                 now,
                 Sender.ListKind.WHOLE,
@@ -119,7 +119,7 @@
     void theReadmeShowsTheseSteps() throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         String code = readme.substring(readme.indexOf("```java\n") + 8, readme.lastIndexOf("```"));
-        String test = Files.readString(Path.of("src/test/java/elderseam/module/EmbeddingTest.java"));
+        String test = Files.readString(Path.of("src/test/java/elderseam/policy/EmbeddingTest.java"));
         for (String line : code.split("\n")) {
             assertTrue(test.contains(line.strip()), "not run by the test: " + line);
         }
--- a/src/test/java/elderseam/module/LimitTest.java
+++ b/src/test/java/elderseam/policy/LimitTest.java
@@ -1,18 +1,18 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Limits that endpoints tell with their answers. */
 class LimitTest {
-    private final Rig rig = Rig.simple(40);
+    private final PolicyTestHarness rig = PolicyTestHarness.simple(40);
 
     /** Keeps messages waiting and answers after 50 ms, for that long; how many went out. */
     private int serve(long ns, Result result) {
@@ -24,7 +24,7 @@
                     < 20) {
                 rig.submit(0, -1, 1);
             }
-            List<Rig.Attempt> out = new ArrayList<>(rig.out());
+            List<PolicyTestHarness.Attempt> out = new ArrayList<>(rig.out());
             rig.pass(50 * MS);
             out.forEach(a -> rig.answer(a, result, 0));
             sent += out.size();
@@ -62,14 +62,14 @@
     /** Calls whose answers nobody could have read are not hung; those silent since are. */
     @Test
     void timeInWhichNobodyLookedIsNoSilence() {
-        Rig blind = Rig.simple(40);
-        for (Rig r : List.of(rig, blind)) {
+        PolicyTestHarness blind = PolicyTestHarness.simple(40);
+        for (PolicyTestHarness r : List.of(rig, blind)) {
             r.submit(0, -1, 1);
             r.submit(0, -1, 1);
             r.now += 3 * S;
         }
         blind.brain.unseen(blind.now, 3 * S);
-        for (Rig r : List.of(rig, blind)) {
+        for (PolicyTestHarness r : List.of(rig, blind)) {
             r.brain.turnEnd(r.now);
         }
         assertTrue(rig.trace.stream().anyMatch(l -> l.contains("hung calls")), "silent for 3 s");
--- a/src/test/java/elderseam/module/ModuleTest.java
+++ b/src/test/java/elderseam/policy/ModuleTest.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,7 +11,7 @@
 
 /** The module's own limits. */
 class ModuleTest {
-    private final Path source = Path.of("src/main/java/elderseam/module/Brain.java");
+    private final Path source = Path.of("src/main/java/elderseam/policy/DispatchPolicy.java");
 
     @Test
     void itStaysSmall() throws IOException {
--- a/src/test/java/elderseam/module/PartTest.java
+++ b/src/test/java/elderseam/policy/PartTest.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/elderseam/module/Rig.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -1,14 +1,14 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Effect;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.MessageClass;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Effect;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,7 +17,7 @@
 import java.util.TreeMap;
 
 /** A host under test's control: carries out what the module asks and asserts the six rules at every action. */
-final class Rig implements Sender.Actions {
+final class PolicyTestHarness implements Sender.Actions {
     static final long MS = 1_000_000;
     static final long S = 1_000 * MS;
 
@@ -43,7 +43,7 @@
     }
 
     final Sender.Settings settings;
-    final Brain brain;
+    final DispatchPolicy brain;
     final Map<String, Sent> messages = new LinkedHashMap<>();
     /** Messages unfinished, or with attempts out. */
     final Map<String, Sent> active = new LinkedHashMap<>();
@@ -63,9 +63,9 @@
     double patience = 1; // share of the class's time that the next messages have left
     private int ids;
 
-    Rig(Sender.Settings settings, long seed) {
+    PolicyTestHarness(Sender.Settings settings, long seed) {
         this.settings = settings;
-        this.brain = new Brain(settings, seed, this);
+        this.brain = new DispatchPolicy(settings, seed, this);
     }
 
     /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
@@ -99,8 +99,8 @@
                 new Sender.Prices(0.05, 0, List.of()));
     }
 
-    static Rig simple(int slots) {
-        Rig rig = new Rig(settings(slots, new Sender.Kind(false, 1), false), 7);
+    static PolicyTestHarness simple(int slots) {
+        PolicyTestHarness rig = new PolicyTestHarness(settings(slots, new Sender.Kind(false, 1), false), 7);
         rig.list(Sender.ListKind.CACHED, endpoint("a:1", 1, 0, Listing.READY));
         return rig;
     }
--- a/src/test/java/elderseam/module/PropertyTest.java
+++ b/src/test/java/elderseam/policy/PropertyTest.java
@@ -1,12 +1,12 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -19,13 +19,14 @@
         SplittableRandom random = new SplittableRandom(seed);
         boolean apart = random.nextInt(3) == 0;
         Sender.Kind kind = new Sender.Kind(apart, random.nextInt(3) == 0 ? 4 : 1);
-        Rig rig = new Rig(Rig.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
+        PolicyTestHarness rig = new PolicyTestHarness(
+                PolicyTestHarness.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
         int dests = 1 + random.nextInt(4);
         for (int d = 0; d < dests; d++) {
             rig.list(
                     Sender.ListKind.CHANGES,
-                    Rig.endpoint("a:" + d, d, 0, Listing.READY),
-                    Rig.endpoint("b:" + d, d, 1, Listing.READY));
+                    PolicyTestHarness.endpoint("a:" + d, d, 0, Listing.READY),
+                    PolicyTestHarness.endpoint("b:" + d, d, 1, Listing.READY));
         }
         for (int step = 0; step < 600; step++) {
             int sick = step / 100 % (dests + 2);
@@ -37,11 +38,11 @@
                 String suffix = random.nextBoolean() ? "" : ":" + step;
                 Sender.Endpoint[] all = new Sender.Endpoint[dests];
                 for (int d = 0; d < dests; d++) {
-                    all[d] = Rig.endpoint("a:" + d + suffix, d, 0, Listing.READY);
+                    all[d] = PolicyTestHarness.endpoint("a:" + d + suffix, d, 0, Listing.READY);
                 }
                 rig.list(random.nextBoolean() ? Sender.ListKind.WHOLE : Sender.ListKind.CACHED, all);
             }
-            for (Rig.Attempt a : rig.out()) {
+            for (PolicyTestHarness.Attempt a : rig.out()) {
                 int roll = random.nextInt(100);
                 boolean ill = rig.messages.get(a.id()).msg.destination() == sick;
                 if (roll < 25 && !ill) {
@@ -59,7 +60,9 @@
                 String side = random.nextBoolean() ? "a:" : "b:";
                 Listing to = Listing.values()[random.nextInt(3)];
                 int d = random.nextInt(dests);
-                rig.list(Sender.ListKind.CHANGES, Rig.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
+                rig.list(
+                        Sender.ListKind.CHANGES,
+                        PolicyTestHarness.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
             }
             if (random.nextInt(60) == 0) {
                 rig.messages.values().stream()
@@ -100,7 +103,7 @@
     @Test
     void rulesHoldForManySmallSenders() {
         int senders = 40;
-        Sender.Settings s = Rig.settings(2, new Sender.Kind(false, 1), true);
+        Sender.Settings s = PolicyTestHarness.settings(2, new Sender.Kind(false, 1), true);
         Sender.Settings small = new Sender.Settings(
                 s.classes(),
                 s.kinds(),
@@ -126,9 +129,9 @@
                 s.connections(),
                 s.prices());
         SplittableRandom random = new SplittableRandom(11);
-        Rig[] rigs = new Rig[senders];
+        PolicyTestHarness[] rigs = new PolicyTestHarness[senders];
         for (int i = 0; i < senders; i++) {
-            rigs[i] = new Rig(small, i);
+            rigs[i] = new PolicyTestHarness(small, i);
             rigs[i].list(
                     Sender.ListKind.CACHED,
                     new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 8),
@@ -139,11 +142,11 @@
         for (int step = 0; step < 600; step++) { // 30 s: down from 5 s to 15 s, then cold at a quarter
             boolean down = step >= 100 && step < 300;
             int room = random.nextInt(2);
-            for (Rig r : rigs) {
+            for (PolicyTestHarness r : rigs) {
                 if (random.nextInt(100) == 0) {
                     r.submit(random.nextInt(3), random.nextInt(4) - 1, 1 + random.nextInt(2));
                 }
-                for (Rig.Attempt a : r.out()) {
+                for (PolicyTestHarness.Attempt a : r.out()) {
                     boolean sick = a.endpoint().equals("a:1");
                     onReturn += sick && step >= 300 && step < 340 ? 1 : 0;
                     boolean full = sick && !down && step > 300 && room-- <= 0;
@@ -153,7 +156,7 @@
                 r.pass(50 * MS);
             }
         }
-        for (Rig r : rigs) {
+        for (PolicyTestHarness r : rigs) {
             r.pass(30 * S);
             r.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
             done += r.messages.values().stream()
--- a/src/test/java/elderseam/module/RulesTest.java
+++ b/src/test/java/elderseam/policy/RulesTest.java
@@ -1,15 +1,15 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.Rig.MS;
-import static elderseam.module.Rig.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Kind;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Kind;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
@@ -19,7 +19,7 @@
             if (result == Result.DELIVERED) {
                 continue;
             }
-            Rig rig = Rig.simple(8);
+            PolicyTestHarness rig = PolicyTestHarness.simple(8);
             String id = rig.submit(2, 5, 1);
             rig.answer(id, result);
             if (result.neverRan) {
@@ -33,7 +33,7 @@
 
     @Test
     void aKeyedMessageGoesAgainWithinItsWindowOnly() {
-        Rig rig = Rig.simple(8);
+        PolicyTestHarness rig = PolicyTestHarness.simple(8);
         String id = rig.submit(1, -1, 1);
         rig.answer(id, Result.ERROR);
         rig.pass(500 * MS);
@@ -47,33 +47,33 @@
 
     @Test
     void aKeyOfOneZoneStaysInItsZone() {
-        Rig rig = new Rig(Rig.settings(8, new Kind(false, 1), true), 1);
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), true), 1);
         rig.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 1, 1, Listing.READY));
+                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 1, Listing.READY));
         String id = rig.submit(1, -1, 1);
         assertEquals("a:1", rig.only(id).endpoint());
         rig.answer(id, Result.ERROR);
-        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.DRAINING));
+        rig.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
         rig.pass(7 * S);
         assertEquals("failed", rig.end(id), "neither sent to the other zone nor refused");
     }
 
     @Test
     void aDrainedEndpointGetsNothingAndItsReplacementDoes() {
-        Rig rig = Rig.simple(8);
-        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("a:1", 1, 0, Listing.GONE));
+        PolicyTestHarness rig = PolicyTestHarness.simple(8);
+        rig.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.GONE));
         String id = rig.submit(0, -1, 1);
         rig.pass(1 * S);
         assertFalse(rig.sent(id));
-        rig.list(Sender.ListKind.CHANGES, Rig.endpoint("b:1", 1, 0, Listing.READY));
+        rig.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
         assertEquals("b:1", rig.only(id).endpoint());
     }
 
     @Test
     void messagesOfAKeyGoInOrderAndRestAfterADoubtfulEnd() {
-        Rig rig = Rig.simple(8);
+        PolicyTestHarness rig = PolicyTestHarness.simple(8);
         String first = rig.submit(2, 5, 1);
         String second = rig.submit(2, 5, 1);
         String other = rig.submit(2, 6, 1);
@@ -89,7 +89,7 @@
 
     @Test
     void theLastTimeOutIsAnsweredInTime() {
-        Rig rig = Rig.simple(1);
+        PolicyTestHarness rig = PolicyTestHarness.simple(1);
         String id = rig.submit(2, 5, 1);
         rig.pass(28 * S + 10 * MS);
         assertEquals("failed", rig.end(id));
@@ -97,7 +97,7 @@
 
     @Test
     void aMessageThatCannotMakeItIsRefusedBeforeItsDeadline() {
-        Rig rig = new Rig(Rig.settings(8, new Kind(false, 1), false), 1);
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
         String id = rig.submit(0, -1, 1);
         rig.pass(20 * S);
         assertEquals("refused", rig.end(id));
@@ -105,7 +105,7 @@
 
     @Test
     void theStoreKeepsRoom() {
-        Rig rig = new Rig(Rig.settings(8, new Kind(false, 1), false), 1);
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
         for (int i = 0; i < 400; i++) {
             rig.submit(i % 2, -1, 1);
         }
@@ -115,8 +115,8 @@
 
     @Test
     void aFailedSubscriptionIsRenewed() {
-        Sender.Settings s = Rig.settings(8, new Kind(false, 1), false);
-        Rig rig = new Rig(
+        Sender.Settings s = PolicyTestHarness.settings(8, new Kind(false, 1), false);
+        PolicyTestHarness rig = new PolicyTestHarness(
                 new Sender.Settings(
                         s.classes(),
                         s.kinds(),
@@ -142,7 +142,7 @@
                         s.connections(),
                         s.prices()),
                 1);
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY));
+        rig.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
         assertEquals(1, rig.subscribes);
         rig.brain.endpoints(rig.now, Sender.ListKind.FAILED, java.util.List.of());
         rig.brain.turnEnd(rig.now);
@@ -160,15 +160,15 @@
 
     @Test
     void routesApartHaveBreakersOfTheirOwn() {
-        Rig rig = new Rig(Rig.settings(8, new Kind(true, 1), false), 1);
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(true, 1), false), 1);
         rig.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 1, 0, Listing.READY));
+                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
         for (int i = 0; i < 40; i++) {
             String id = rig.submit(2, -1, 1);
             rig.pass(20 * MS);
-            for (Rig.Attempt a : rig.out()) {
+            for (PolicyTestHarness.Attempt a : rig.out()) {
                 rig.answer(a, a.endpoint().equals("a:1") ? Result.CONNECT_FAILED : Result.DELIVERED, 0);
             }
             rig.brain.turnEnd(rig.now);
@@ -180,11 +180,11 @@
 
     @Test
     void routesApartTogetherKeepTheCapOfTheirDestination() {
-        Rig rig = new Rig(Rig.settings(8, new Kind(true, 1), false), 1);
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(true, 1), false), 1);
         rig.list(
                 Sender.ListKind.CACHED,
-                Rig.endpoint("a:1", 1, 0, Listing.READY),
-                Rig.endpoint("b:1", 1, 0, Listing.READY));
+                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
         for (int i = 0; i < 20; i++) {
             rig.submit(0, -1, 1);
         }
@@ -193,8 +193,8 @@
 
     @Test
     void aBatchSharesOneTicket() {
-        Rig rig = new Rig(Rig.settings(4, new Kind(false, 5), false), 1);
-        rig.list(Sender.ListKind.CACHED, Rig.endpoint("a:1", 1, 0, Listing.READY));
+        PolicyTestHarness rig = new PolicyTestHarness(PolicyTestHarness.settings(4, new Kind(false, 5), false), 1);
+        rig.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
         for (int i = 0; i < 5; i++) {
             rig.take(0, -1, 1);
         }
@@ -204,7 +204,7 @@
 
     @Test
     void misuseIsRejected() {
-        Rig rig = Rig.simple(8);
+        PolicyTestHarness rig = PolicyTestHarness.simple(8);
         String id = rig.submit(0, -1, 1);
         assertThrows(IllegalArgumentException.class, () -> rig.brain.message(rig.now, rig.messages.get(id).msg));
         assertThrows(IllegalArgumentException.class, () -> rig.brain.turnEnd(rig.now - 1));
@@ -217,7 +217,7 @@
     /** Whatever ends a message ends it in that very turn, and says when to come back where it may. */
     @Test
     void aMessageGivenUpOnIsAnsweredAtOnce() {
-        Rig spent = Rig.simple(8);
+        PolicyTestHarness spent = PolicyTestHarness.simple(8);
         String id = spent.submit(0, -1, 1);
         while (spent.messages.get(id).attempts < spent.settings.maxAttempts()) {
             if (spent.sent(id)) {
@@ -229,19 +229,19 @@
         assertEquals("refused", spent.end(id), "attempts spent");
         assertComeBack(spent, id);
 
-        Rig late = Rig.simple(8);
+        PolicyTestHarness late = PolicyTestHarness.simple(8);
         late.patience = 0.001;
         id = late.submit(0, -1, 1);
         assertEquals("refused", late.end(id), "too little time");
         assertEquals(late.now, late.messages.get(id).endedAt);
         assertComeBack(late, id);
 
-        Rig ran = Rig.simple(8);
+        PolicyTestHarness ran = PolicyTestHarness.simple(8);
         id = ran.submit(2, -1, 1);
         ran.answer(id, Result.RESET);
         assertEquals("failed", ran.end(id), "may have run and may not be repeated");
 
-        Rig store = Rig.simple(1);
+        PolicyTestHarness store = PolicyTestHarness.simple(1);
         for (int i = 0; i <= store.settings.mostHeld(); i++) {
             store.submit(0, -1, 1);
         }
@@ -254,7 +254,7 @@
         assertComeBack(store, refused);
     }
 
-    private static void assertComeBack(Rig rig, String id) {
+    private static void assertComeBack(PolicyTestHarness rig, String id) {
         String line = rig.trace.stream()
                 .filter(l -> l.contains("refuse " + id))
                 .findFirst()
--- a/src/test/java/elderseam/module/SettingsTest.java
+++ b/src/test/java/elderseam/policy/SettingsTest.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/elderseam/rules/BodiesTest.java
+++ b/src/test/java/elderseam/rules/JsonFieldExtractorTest.java
@@ -2,8 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.rules.lang.Err;
-import elderseam.rules.lang.Null;
+import elderseam.rules.cel.EvaluationError;
+import elderseam.rules.cel.NullValue;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -12,16 +12,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class BodiesTest {
-    private static final Bodies BODIES =
-            new Bodies(Extent.USUAL, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
+class JsonFieldExtractorTest {
+    private static final JsonFieldExtractor BODIES = new JsonFieldExtractor(
+            RuleLimits.USUAL, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
 
     private static List<Object> read(String body) {
         return Arrays.asList(BODIES.read(body.getBytes(StandardCharsets.UTF_8)).clone());
     }
 
     private static List<Object> all(String words) {
-        Err e = new Err(words);
+        EvaluationError e = new EvaluationError(words);
         return List.of(e, e, e, e);
     }
 
@@ -29,10 +29,10 @@
     void fieldsArePicked() {
         assertEquals(Arrays.asList(1L, null, null, null), read("{\"a\": 1}"));
         assertEquals(
-                Arrays.asList("ä\n", 2.5, Map.of("c", 2.5, "d", List.of(true, Null.NULL)), null),
+                Arrays.asList("ä\n", 2.5, Map.of("c", 2.5, "d", List.of(true, NullValue.NULL)), null),
                 read("{\"z\": [[{}]], \"b\": {\"c\": 2.5, \"d\": [true, null]}, \"a\": \"ä\\n\"}"));
         assertEquals(
-                Arrays.asList(Null.NULL, null, "text", null),
+                Arrays.asList(NullValue.NULL, null, "text", null),
                 read("{\"a\": null, \"b\": \"text\", \"x\": [{\"y\": 1}]}"));
         assertEquals(
                 Arrays.asList(9223372036854775807L, null, 9.223372036854775808e18, 1e3),
@@ -65,7 +65,7 @@
         assertEquals(all("a body nested above body_depth"), read("{\"q\": " + "[".repeat(30_000)));
         assertEquals(all("a body nested above body_depth"), read("{\"a\": " + "[".repeat(17) + "]".repeat(17) + "}"));
         assertEquals(all("a body above body_bytes"), read("{\"a\": \"" + "x".repeat(70_000) + "\"}"));
-        Err large = new Err("a field above field_chars or list_items");
+        EvaluationError large = new EvaluationError("a field above field_chars or list_items");
         assertEquals(
                 Arrays.asList(large, 7L, Map.of("c", 7L), null),
                 read("{\"a\": \"" + "x".repeat(1_025) + "\", \"b\": {\"c\": 7}}"));
--- a/src/test/java/elderseam/rules/BucketsTest.java
+++ b/src/test/java/elderseam/rules/KeyedRateLimiterTest.java
@@ -8,10 +8,10 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
-class BucketsTest {
+class KeyedRateLimiterTest {
     private static final long S = 1_000_000_000L;
 
-    private static boolean takes(Buckets b, String key, long now) {
+    private static boolean takes(KeyedRateLimiter b, String key, long now) {
         boolean takes = b.waitNs(key, now) == 0;
         if (takes) {
             b.take(key, now);
@@ -25,7 +25,7 @@
         Random r = new Random(seed);
         int burst = 1 + r.nextInt(20);
         double rate = 1 + r.nextInt(50);
-        Buckets b = new Buckets("l", rate, burst, 10);
+        KeyedRateLimiter b = new KeyedRateLimiter("l", rate, burst, 10);
         double level = 0; // the model: a bucket that leaks
         long now = 0, interval = Math.round(1e9 / rate);
         for (int i = 0; i < 500; i++) {
@@ -40,7 +40,7 @@
 
     @Test
     void itSaysWhenToComeBack() {
-        Buckets b = new Buckets("l", 2, 1, 10);
+        KeyedRateLimiter b = new KeyedRateLimiter("l", 2, 1, 10);
         assertTrue(takes(b, "k", 0));
         assertEquals(S / 2 - 100, b.waitNs("k", 100));
         assertTrue(takes(b, "k", S / 2));
@@ -49,7 +49,7 @@
     /** A flooder that makes up keys until its own would be let go gains nothing: its own stays, the others share one bucket. */
     @Test
     void aFlooderIsNotForgiven() {
-        Buckets b = new Buckets("l", 1, 5, 100);
+        KeyedRateLimiter b = new KeyedRateLimiter("l", 1, 5, 100);
         int own = 0, others = 0;
         for (int i = 0; i < 20_000; i++) {
             own += takes(b, "flooder", i * 1_000L) ? 1 : 0;
@@ -66,7 +66,7 @@
     /** A reload forgives nobody either. */
     @Test
     void aReloadGoesOnWhereItStood() {
-        Buckets old = new Buckets("l", 1, 2, 10), fresh = new Buckets("l", 1, 2, 10);
+        KeyedRateLimiter old = new KeyedRateLimiter("l", 1, 2, 10), fresh = new KeyedRateLimiter("l", 1, 2, 10);
         takes(old, "k", 0);
         takes(old, "k", 0);
         fresh.inherit(old);
@@ -75,7 +75,7 @@
 
     @Test
     void ratesAreOfTheLastWindow() {
-        Rates r = new Rates(2, 16);
+        TenantRates r = new TenantRates(2, 16);
         for (int i = 0; i < 160; i++) {
             r.arrived(0, i * S / 10);
         }
@@ -92,12 +92,12 @@
     void theCalendarIsTheZones() {
         Calendar c = new Calendar(java.time.ZoneId.of("Africa/Windhoek"));
         long before = java.time.Instant.parse("2026-11-30T21:59:59Z").toEpochMilli(), after = before + 1_000;
-        assertEquals(30, c.part(Vocabulary.DAY, before));
-        assertEquals(0, c.part(Vocabulary.DAYS_LEFT, before));
-        assertEquals(23, c.part(Vocabulary.HOUR, before));
-        assertEquals(1, c.part(Vocabulary.DAY, after));
-        assertEquals(12, c.part(Vocabulary.MONTH, after));
-        assertEquals(30, c.part(Vocabulary.DAYS_LEFT, after));
-        assertEquals(2, c.part(Vocabulary.WEEKDAY, after));
+        assertEquals(30, c.part(RuleVariables.DAY, before));
+        assertEquals(0, c.part(RuleVariables.DAYS_LEFT, before));
+        assertEquals(23, c.part(RuleVariables.HOUR, before));
+        assertEquals(1, c.part(RuleVariables.DAY, after));
+        assertEquals(12, c.part(RuleVariables.MONTH, after));
+        assertEquals(30, c.part(RuleVariables.DAYS_LEFT, after));
+        assertEquals(2, c.part(RuleVariables.WEEKDAY, after));
     }
 }
--- a/src/test/java/elderseam/rules/RouteTest.java
+++ b/src/test/java/elderseam/rules/RouteTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.rules.Surroundings.Breaker;
+import elderseam.rules.RuleEnvironment.Breaker;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/elderseam/rules/DeciderTest.java
+++ b/src/test/java/elderseam/rules/RuleEngineTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.Facts;
-import elderseam.core.Stream;
+import elderseam.core.ActiveRequest;
+import elderseam.core.RequestAttributes;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,11 +20,11 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** What is made of a message, and whether it may be taken on, without sockets or a journal. */
-class DeciderTest {
+class RuleEngineTest {
     private static final long S = 1_000_000_000L;
 
     /** How the dispatcher stands, as a test has it. */
-    private static final class State implements Surroundings {
+    private static final class State implements RuleEnvironment {
         final Map<Long, Breaker> breakers = new HashMap<>();
         int held;
 
@@ -59,19 +59,22 @@
 
     private final State state = new State();
     private final List<String> log = new ArrayList<>();
-    private final Decider decider = new Decider(List.of(16 * S, 28 * S, 10 * S), 3 * S, 100, state, log::add);
+    private final RuleEngine decider = new RuleEngine(List.of(16 * S, 28 * S, 10 * S), 3 * S, 100, state, log::add);
 
     private Rulebook book(String text) throws IOException {
-        return Loader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), Extent.USUAL, LoaderTest.NAMES)
+        return RuleLoader.load(
+                        List.of(Files.writeString(folder.resolve("a.rules"), text)),
+                        RuleLimits.USUAL,
+                        RuleLoaderTest.NAMES)
                 .book();
     }
 
-    private static Facts facts(String body) {
-        return Sample.read("POST /status-update\nX-A: 1\n\n" + body, new ArrayList<>());
+    private static RequestAttributes facts(String body) {
+        return SampleRequest.read("POST /status-update\nX-A: 1\n\n" + body, new ArrayList<>());
     }
 
-    private static Stream.Message message(String body, long now) {
-        return new Stream.Message(
+    private static ActiveRequest.Message message(String body, long now) {
+        return new ActiveRequest.Message(
                 "id",
                 (byte) 0,
                 0,
@@ -85,13 +88,13 @@
                 body.getBytes(StandardCharsets.UTF_8));
     }
 
-    private Stream.Message decided(String body, long now) {
+    private ActiveRequest.Message decided(String body, long now) {
         return decider.decide(message(body, now), facts(body), now, 0).message();
     }
 
     @Test
     void withoutAMatchTheMessageIsTheSame() throws IOException {
-        Stream.Message m = message("x", 0);
+        ActiveRequest.Message m = message("x", 0);
         assertSame(m, decider.decide(m, facts("x"), 0, 0).message());
         decider.put(book("[rule a]\nwhen = request.size > 10\nclass = 'job-order'\n"));
         assertSame(m, decider.decide(m, facts("x"), 0, 0).message());
@@ -129,7 +132,7 @@
         for (int i = 0; i < 59; i++) {
             assertEquals(5, decided("", i * S).destination());
         }
-        state.breakers.put(5L, Surroundings.Breaker.OPEN);
+        state.breakers.put(5L, RuleEnvironment.Breaker.OPEN);
         assertEquals(1, decided("", 59 * S).destination());
     }
 
@@ -173,13 +176,13 @@
     void keys() throws IOException {
         Rulebook first = book("[rule a]\nkey = string(body.n)\n");
         decider.put(first);
-        Stream.Message m = decided("{\"n\": 1}", 0);
+        ActiveRequest.Message m = decided("{\"n\": 1}", 0);
         assertTrue(m.same().startsWith(first.scheme().name() + ":") && !m.heedsWindow());
         assertEquals(3_600 * S, m.rememberUntil());
         assertEquals(m.same(), decided("{\"x\": 2, \"n\": 1}", 5).same());
         assertNotEquals(m.same(), decided("{\"n\": 2}", 5).same());
         decider.put(book("[rule a]\nwhen = true\nkey = string(body.n)\n"));
-        Decider.Decided d = decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0);
+        RuleEngine.Decided d = decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0);
         assertEquals(List.of(m.same()), d.also());
         assertNotEquals(m.same(), d.message().same());
         decider.put(null);
