--- a/src/test/java/elderseam/rules/LoaderTest.java
+++ b/src/test/java/elderseam/rules/RuleLoaderTest.java
@@ -15,15 +15,15 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Each kind of fault, told with its place, and nothing loaded. */
-class LoaderTest {
-    static final Names NAMES =
-            Names.of(List.of("status-update", "job-order", "rent-payment"), List.of("erongo", "khomas"));
+class RuleLoaderTest {
+    static final KnownNames NAMES =
+            KnownNames.of(List.of("status-update", "job-order", "rent-payment"), List.of("erongo", "khomas"));
 
     @TempDir
     Path folder;
 
-    private Loader.Loaded load(String text) throws IOException {
-        return Loader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), Extent.USUAL, NAMES);
+    private RuleLoader.Loaded load(String text) throws IOException {
+        return RuleLoader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), RuleLimits.USUAL, NAMES);
     }
 
     private List<String> faults(String text) {
@@ -131,7 +131,7 @@
     /** Lines that begin with white space go on; quotes, commas and signs of comments are the expression's own. */
     @Test
     void aValueGoesOnInFurtherLines() throws IOException {
-        Loader.Loaded l = load("""
+        RuleLoader.Loaded l = load("""
                 [rule a]
                 when = request.headers['x'] == "#, ;" ||
                   request.size in [1,
@@ -188,10 +188,10 @@
                 [rule c]
                 key = message.class + '/' + string(body.a)
                 """).book();
-        Rulebook again = Loader.scheme(book.scheme(), NAMES);
+        Rulebook again = RuleLoader.scheme(book.scheme(), NAMES);
         assertEquals(book.scheme(), again.scheme());
-        Sample sample = Sample.read("POST /rent-payment\n\n{\"a\": 5}", new java.util.ArrayList<>());
-        Ruling one = new Ruling(false), two = new Ruling(false);
+        SampleRequest sample = SampleRequest.read("POST /rent-payment\n\n{\"a\": 5}", new java.util.ArrayList<>());
+        RuleResult one = new RuleResult(false), two = new RuleResult(false);
         sample.decide(book, NAMES, one);
         sample.decide(again, NAMES, two);
         assertEquals("", one.key, "refused before the second table");
--- a/src/test/java/elderseam/rules/RulesFuzzTest.java
+++ b/src/test/java/elderseam/rules/RulesFuzzTest.java
@@ -1,11 +1,11 @@
 package elderseam.rules;
 
 import com.code_intelligence.jazzer.junit.FuzzTest;
-import elderseam.core.Stream;
-import elderseam.rules.lang.Err;
-import elderseam.rules.lang.Expression;
-import elderseam.rules.lang.Program;
-import elderseam.rules.lang.Type;
+import elderseam.core.ActiveRequest;
+import elderseam.rules.cel.EvaluationError;
+import elderseam.rules.cel.Expression;
+import elderseam.rules.cel.Program;
+import elderseam.rules.cel.Type;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -19,14 +19,15 @@
  * beside it are replayed by each build; {@code make fuzz} looks for more.
  */
 class RulesFuzzTest {
-    private static final Extent SMALL = new Extent(java.time.ZoneOffset.UTC, 4_096, 8, 64, 8, 20_000, 1L << 30, 60, 60);
+    private static final RuleLimits SMALL =
+            new RuleLimits(java.time.ZoneOffset.UTC, 4_096, 8, 64, 8, 20_000, 1L << 30, 60, 60);
 
     /** An expression, a zero octet, and the body that it is evaluated on. */
     @FuzzTest(maxDuration = "1m")
     void expressions(byte[] data) {
         String all = new String(data, StandardCharsets.UTF_8);
         int cut = all.indexOf('\0');
-        elderseam.rules.lang.Scope scope = Vocabulary.scope(SMALL);
+        elderseam.rules.cel.Scope scope = RuleVariables.scope(SMALL);
         Expression.Compiled c =
                 Expression.compile(cut < 0 ? all : all.substring(0, cut), scope, Type.Plain.DYN, SMALL.budget());
         if (c.expression() == null) {
@@ -34,9 +35,9 @@
             return;
         }
         Program program = c.expression().program();
-        Sample sample = Sample.read(
+        SampleRequest sample = SampleRequest.read(
                 "POST /rent-payment\nX-Org: a\n\n" + (cut < 0 ? "{}" : all.substring(cut + 1)), new ArrayList<>());
-        Arrival a = new Arrival(SMALL, scope, List.of("rent-payment"), List.of("a"), new Rates(1, 60));
+        RuleInput a = new RuleInput(SMALL, scope, List.of("rent-payment"), List.of("a"), new TenantRates(1, 60));
         a.begin(sample, sample, 0, 0);
         a.id = "";
         a.key = "";
@@ -46,14 +47,16 @@
                     + c.expression().bound());
         }
         Expression.Outcome o = c.expression().evaluate(name -> a.value(scope.number(name)));
-        if (!v.equals(o.value()) && !(v instanceof Err && o.value() instanceof Err) && o.value() != v) {
+        if (!v.equals(o.value())
+                && !(v instanceof EvaluationError && o.value() instanceof EvaluationError)
+                && o.value() != v) {
             throw new AssertionError(c.expression().text() + ": " + v + ", by the reference " + o.value());
         }
     }
 
     @FuzzTest(maxDuration = "1m")
     void bodies(byte[] data) {
-        new Bodies(SMALL, List.of(List.of("a"), List.of("a", "b"), List.of("c", "d", "e"))).read(data);
+        new JsonFieldExtractor(SMALL, List.of(List.of("a"), List.of("a", "b"), List.of("c", "d", "e"))).read(data);
     }
 
     @FuzzTest(maxDuration = "1m")
@@ -61,19 +64,19 @@
         Path file = Files.createTempFile("fuzz", ".rules");
         try {
             Files.write(file, data);
-            Loader.Loaded l = Loader.load(List.of(file), SMALL, LoaderTest.NAMES);
-            Ruling r = new Ruling(false);
-            Sample sample = Sample.read("POST /rent-payment\n\n{\"a\": 1}", new ArrayList<>());
+            RuleLoader.Loaded l = RuleLoader.load(List.of(file), SMALL, RuleLoaderTest.NAMES);
+            RuleResult r = new RuleResult(false);
+            SampleRequest sample = SampleRequest.read("POST /rent-payment\n\n{\"a\": 1}", new ArrayList<>());
             l.book()
                     .decide(
-                            new Stream.Message("m", (byte) 0, 0, 0, 1, 1, 1, false, true, "", new byte[0]),
+                            new ActiveRequest.Message("m", (byte) 0, 0, 0, 1, 1, 1, false, true, "", new byte[0]),
                             sample,
                             sample,
                             0,
                             0,
                             r);
             if (l.book().scheme() != null
-                    && !Loader.scheme(l.book().scheme(), LoaderTest.NAMES)
+                    && !RuleLoader.scheme(l.book().scheme(), RuleLoaderTest.NAMES)
                             .scheme()
                             .equals(l.book().scheme())) {
                 throw new AssertionError(
--- a/src/test/java/elderseam/rules/lang/DifferentialTest.java
+++ b/src/test/java/elderseam/rules/cel/DifferentialTest.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -51,16 +51,16 @@
     private static final CelRuntime RUNTIME =
             CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(OPTIONS).build();
     private static final Scope SCOPE = new Scope()
-            .name("i", Type.Plain.INT, Size.ONE)
-            .name("u", Type.Plain.UINT, Size.ONE)
-            .name("d", Type.Plain.DOUBLE, Size.ONE)
-            .name("b", Type.Plain.BOOL, Size.ONE)
-            .name("s", Type.Plain.STRING, Size.text(40))
-            .name("t", Type.Plain.TIMESTAMP, Size.ONE)
-            .name("p", Type.Plain.DURATION, Size.ONE)
-            .name("l", new Type.ListType(Type.Plain.INT), Size.list(5, Size.ONE))
-            .name("w", new Type.ListType(Type.Plain.STRING), Size.list(4, Size.text(20)))
-            .name("m", new Type.MapType(Type.Plain.STRING, Type.Plain.INT), Size.list(3, Size.text(1)));
+            .name("i", Type.Plain.INT, ValueSize.ONE)
+            .name("u", Type.Plain.UINT, ValueSize.ONE)
+            .name("d", Type.Plain.DOUBLE, ValueSize.ONE)
+            .name("b", Type.Plain.BOOL, ValueSize.ONE)
+            .name("s", Type.Plain.STRING, ValueSize.text(40))
+            .name("t", Type.Plain.TIMESTAMP, ValueSize.ONE)
+            .name("p", Type.Plain.DURATION, ValueSize.ONE)
+            .name("l", new Type.ListType(Type.Plain.INT), ValueSize.list(5, ValueSize.ONE))
+            .name("w", new Type.ListType(Type.Plain.STRING), ValueSize.list(4, ValueSize.text(20)))
+            .name("m", new Type.MapType(Type.Plain.STRING, Type.Plain.INT), ValueSize.list(3, ValueSize.text(1)));
 
     private static Map<String, Object> values(Random r) {
         Map<String, Object> v = new HashMap<>();
@@ -70,7 +70,7 @@
             w.add("aäb".repeat(r.nextInt(7)));
         }
         v.put("i", (long) r.nextInt(9));
-        v.put("u", new Uint(r.nextInt(9)));
+        v.put("u", new elderseam.rules.cel.UnsignedLong(r.nextInt(9)));
         v.put("d", r.nextInt(40) / 8.0);
         v.put("b", r.nextBoolean());
         v.put("s", "abcä".repeat(r.nextInt(11)));
@@ -83,10 +83,10 @@
     }
 
     /** The compiled form's inputs, by the scope's numbers. */
-    static Inputs inputs(Scope scope, Map<String, Object> values) {
+    static EvaluationInputs inputs(Scope scope, Map<String, Object> values) {
         Object[] all = new Object[scope.size()];
         values.forEach((name, v) -> all[scope.number(name)] = v);
-        return new Inputs() {
+        return new EvaluationInputs() {
             @Override
             protected Object value(int name) {
                 return all[name];
@@ -109,7 +109,7 @@
 
     private static Object library(String text, Map<String, Object> values) {
         Map<String, Object> v = new HashMap<>(values);
-        v.put("u", UnsignedLong.fromLongBits(((Uint) values.get("u")).bits()));
+        v.put("u", UnsignedLong.fromLongBits(((elderseam.rules.cel.UnsignedLong) values.get("u")).bits()));
         try {
             return told(RUNTIME.createProgram(COMPILER.compile(text).getAst()).eval(v));
         } catch (CelEvaluationException e) {
@@ -121,10 +121,10 @@
 
     /** A value as both sides tell it. */
     private static Object told(Object v) {
-        return v instanceof Err e
+        return v instanceof EvaluationError e
                 ? new Failed(e.words())
                 : v instanceof UnsignedLong u
-                        ? new Uint(u.longValue())
+                        ? new elderseam.rules.cel.UnsignedLong(u.longValue())
                         : v instanceof List<?> l
                                 ? l.stream().map(DifferentialTest::told).toList()
                                 : v;
@@ -136,7 +136,8 @@
         for (int n = 0; n < CASES; n++) {
             long seed = seeds.nextLong();
             Random r = new Random(seed);
-            String type = Made.TYPES.get(r.nextInt(Made.TYPES.size())), text = new Made(r).of(type, 1 + r.nextInt(4));
+            String type = RandomExpressions.TYPES.get(r.nextInt(RandomExpressions.TYPES.size())),
+                    text = new RandomExpressions(r).of(type, 1 + r.nextInt(4));
             Expression.Compiled c = Expression.compile(text, SCOPE, Type.Plain.DYN, 1L << 40);
             assertTrue(
                     c.expression() != null || c.faults().get(0).words().contains("may cost"),
@@ -146,7 +147,7 @@
             }
             Map<String, Object> values = values(r);
             Expression.Outcome o = c.expression().evaluate(values::get);
-            Inputs in = inputs(SCOPE, values);
+            EvaluationInputs in = inputs(SCOPE, values);
             Object compiled = c.expression().program().value(in), library = library(text, values);
             assertEquals(o.value(), compiled, () -> text + " on " + values);
             assertTrue(
@@ -157,7 +158,7 @@
             assertEquals(library, told(compiled), () -> text + " on " + values);
             typed(c.expression(), values, o.value());
             compared++;
-            errors += o.value() instanceof Err ? 1 : 0;
+            errors += o.value() instanceof EvaluationError ? 1 : 0;
         }
         assertTrue(
                 compared > CASES * 9 / 10 && errors > CASES / 50 && errors < CASES * 6 / 10,
@@ -166,7 +167,7 @@
 
     /** The plain ways in give what the boxed one does. */
     private static void typed(Expression e, Map<String, Object> values, Object expected) {
-        Inputs in = inputs(SCOPE, values);
+        EvaluationInputs in = inputs(SCOPE, values);
         Program p = e.program();
         Object v = e.type() == Type.Plain.BOOL
                 ? (Object) p.truth(in)
--- a/src/test/java/elderseam/rules/lang/ExpressionTest.java
+++ b/src/test/java/elderseam/rules/cel/ExpressionTest.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -16,21 +16,21 @@
 /** Values, errors, faults and bounds, case by case, as the CEL specification has them. */
 class ExpressionTest {
     private static final Scope SCOPE = new Scope()
-            .name("i", Type.Plain.INT, Size.ONE)
-            .name("u", Type.Plain.UINT, Size.ONE)
-            .name("d", Type.Plain.DOUBLE, Size.ONE)
-            .name("b", Type.Plain.BOOL, Size.ONE)
-            .name("s", Type.Plain.STRING, Size.text(64))
-            .name("t", Type.Plain.TIMESTAMP, Size.ONE)
-            .name("h", new Type.MapType(Type.Plain.STRING, Type.Plain.STRING), Size.list(32, Size.text(256)))
-            .name("l", new Type.ListType(Type.Plain.INT), Size.list(16, Size.ONE))
-            .name("x", Type.Plain.DYN, Size.text(64))
-            .name("gone", Type.Plain.BOOL, Size.ONE);
+            .name("i", Type.Plain.INT, ValueSize.ONE)
+            .name("u", Type.Plain.UINT, ValueSize.ONE)
+            .name("d", Type.Plain.DOUBLE, ValueSize.ONE)
+            .name("b", Type.Plain.BOOL, ValueSize.ONE)
+            .name("s", Type.Plain.STRING, ValueSize.text(64))
+            .name("t", Type.Plain.TIMESTAMP, ValueSize.ONE)
+            .name("h", new Type.MapType(Type.Plain.STRING, Type.Plain.STRING), ValueSize.list(32, ValueSize.text(256)))
+            .name("l", new Type.ListType(Type.Plain.INT), ValueSize.list(16, ValueSize.ONE))
+            .name("x", Type.Plain.DYN, ValueSize.text(64))
+            .name("gone", Type.Plain.BOOL, ValueSize.ONE);
     private static final Map<String, Object> VALUES = Map.of(
             "i",
             7L,
             "u",
-            new Uint(3),
+            new UnsignedLong(3),
             "d",
             2.5,
             "b",
@@ -56,7 +56,7 @@
         Expression e = compiled(text);
         Expression.Outcome o = e.evaluate(VALUES::get);
         assertTrue(o.cost() <= e.bound(), () -> text + ": cost " + o.cost() + ", bound " + e.bound());
-        Inputs in = DifferentialTest.inputs(SCOPE, VALUES);
+        EvaluationInputs in = DifferentialTest.inputs(SCOPE, VALUES);
         assertEquals(o.value(), e.program().value(in), () -> text + ", compiled");
         assertTrue(in.spent() <= e.bound(), () -> text + ": compiled " + in.spent() + ", bound " + e.bound());
         return o.value();
@@ -231,7 +231,7 @@
                 "timestamp('9999-12-31T23:59:59Z') + duration('1s')|out of range"
             })
     void errors(String text, String words) {
-        assertEquals(new Err(words), value(text), text);
+        assertEquals(new EvaluationError(words), value(text), text);
     }
 
     /** Where, and what is expected. */
@@ -331,14 +331,14 @@
     @Test
     void theBoundNamesThePart() {
         String text = "b && l.all(a, l.all(c, l.all(e, l.exists(f, a + c + e + f > 0))))";
-        Fault f = Expression.compile(text, SCOPE, Type.Plain.BOOL, 100_000)
+        ExpressionFault f = Expression.compile(text, SCOPE, Type.Plain.BOOL, 100_000)
                 .faults()
                 .get(0);
         assertTrue(f.words().matches("may cost \\d+ units, allowed: 100000"), f.words());
         assertEquals(text.indexOf(".all(a") + 2, f.column());
         assertNotNull(
                 Expression.compile(text, SCOPE, Type.Plain.BOOL, 10_000_000).expression());
-        Scope large = new Scope().name("m", new Type.ListType(Type.Plain.INT), Size.list(1L << 40, Size.ONE));
+        Scope large = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(1L << 40, ValueSize.ONE));
         assertTrue(Expression.compile("m.all(a, m.all(c, a == c))", large, Type.Plain.BOOL, 1 << 20)
                 .faults()
                 .get(0)
@@ -349,10 +349,10 @@
     /** An input larger than it was declared ends in an error, not in a stall. */
     @Test
     void aWrongBoundIsAnError() {
-        Scope small = new Scope().name("m", new Type.ListType(Type.Plain.INT), Size.list(3, Size.ONE));
+        Scope small = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(3, ValueSize.ONE));
         Expression.Compiled c = Expression.compile("m.all(a, m.all(c, a + c > 0))", small, Type.Plain.BOOL, 200);
         List<Object> many = java.util.Collections.nCopies(1_000_000, 1L);
-        assertEquals(Err.COST, c.expression().evaluate(n -> many).value());
+        assertEquals(EvaluationError.COST, c.expression().evaluate(n -> many).value());
         assertEquals(true, c.expression().evaluate(n -> List.of(1L, 2L, 3L)).value());
         assertEquals(Duration.ofMinutes(90), value("duration('1.5h')"));
     }
--- a/src/test/java/elderseam/rules/lang/GeneratedTest.java
+++ b/src/test/java/elderseam/rules/cel/RandomExpressionTest.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,12 +10,12 @@
 import net.jqwik.api.Property;
 
 /** Expressions made up at random, most of them well typed: the count is never above the bound, and nothing is thrown. */
-class GeneratedTest {
+class RandomExpressionTest {
     private static final Scope SCOPE = new Scope()
-            .name("i", Type.Plain.INT, Size.ONE)
-            .name("s", Type.Plain.STRING, Size.text(40))
-            .name("l", new Type.ListType(Type.Plain.INT), Size.list(5, Size.ONE))
-            .name("w", new Type.ListType(Type.Plain.STRING), Size.list(4, Size.text(20)));
+            .name("i", Type.Plain.INT, ValueSize.ONE)
+            .name("s", Type.Plain.STRING, ValueSize.text(40))
+            .name("l", new Type.ListType(Type.Plain.INT), ValueSize.list(5, ValueSize.ONE))
+            .name("w", new Type.ListType(Type.Plain.STRING), ValueSize.list(4, ValueSize.text(20)));
 
     private static String any(Random r, String type, int depth) {
         String leaf = switch (type) {
@@ -96,7 +96,7 @@
         assertTrue(
                 o.cost() <= c.expression().bound(),
                 () -> text + ": cost " + o.cost() + ", bound " + c.expression().bound());
-        assertTrue(o.value() instanceof Boolean || o.value() instanceof Err, () -> text + ": " + o.value());
+        assertTrue(o.value() instanceof Boolean || o.value() instanceof EvaluationError, () -> text + ": " + o.value());
     }
 
     /** Whatever characters come: a fault or an expression. */
--- a/src/test/java/elderseam/rules/lang/Made.java
+++ b/src/test/java/elderseam/rules/cel/RandomExpressions.java
@@ -1,16 +1,16 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.util.List;
 import java.util.Random;
 
 /** Expressions made up at random, well typed, over the names i, u, d, b, s, t, p (int, uint, double, bool, string, time, period), l, w, m. */
-final class Made {
+final class RandomExpressions {
     static final List<String> TYPES =
             List.of("bool", "int", "uint", "double", "string", "list", "words", "time", "period");
     private final Random r;
     private int variables;
 
-    Made(Random r) {
+    RandomExpressions(Random r) {
         this.r = r;
     }
 
--- a/src/test/java/elderseam/rules/lang/StackTest.java
+++ b/src/test/java/elderseam/rules/cel/StackDepthTest.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -8,9 +8,9 @@
 import org.junit.jupiter.api.Test;
 
 /** Nearly the deepest trees that are let through, asked for and evaluated on a stack of 256 KiB, as serve's threads have. */
-class StackTest {
+class StackDepthTest {
     private static final Scope SCOPE =
-            new Scope().name("b", Type.Plain.BOOL, Size.ONE).name("x", Type.Plain.DYN, Size.text(8));
+            new Scope().name("b", Type.Plain.BOOL, ValueSize.ONE).name("x", Type.Plain.DYN, ValueSize.text(8));
     private static final List<String> DEEP = List.of(
             "!".repeat(98) + "b",
             "[".repeat(98) + "1" + "]".repeat(98) + " != x",
--- a/src/test/java/elderseam/scenario/DownstreamEndsTest.java
+++ b/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
@@ -4,15 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
-import elderseam.core.Stream;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Clients that leave, flood, or take nothing; and a start on a full folder. GuardTest has what is no request at all. */
-class DownstreamEndsTest {
+class ClientConnectionEndTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
 
     @TempDir
@@ -110,7 +110,7 @@
             try (Journal journal = new Journal(s.state(), 3_000_000, clock)) {
                 long by = clock.now() + 60_000 * Clock.MS;
                 while (taken < most - most / 16 - 1
-                        && journal.taken(new Stream.Message(
+                        && journal.taken(new ActiveRequest.Message(
                                 "m" + taken,
                                 (byte) 0,
                                 taken % 3,
--- a/src/test/java/elderseam/scenario/OtherSettingsTest.java
+++ b/src/test/java/elderseam/scenario/DeploymentSettingsTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Classes, tenants, effects, windows and lists come from the deployment's settings alone. */
-class OtherSettingsTest {
+class DeploymentSettingsTest {
     private static final String TO = "X-Org: quux; X-Addressing: dest=1; X-Remaining: 20000m;";
     private static final String CLASS =
             "{\"name\":\"%s\",\"effect\":\"%s\",\"keyScope\":\"all\",\"giveUpNs\":6000000000,\"targetNs\":1500000000,"
--- a/src/test/java/elderseam/scenario/WatchTest.java
+++ b/src/test/java/elderseam/scenario/DiscoveryWatchTest.java
@@ -10,7 +10,7 @@
  * The watch of discovery, by the standing page's clock: what a silent watch misses counts as told 6 s after it fell silent (or 2 s
  * after its wait is over), so a new one has to be open before. ReloadTest has its move, PlatformTest its renewal.
  */
-class WatchTest {
+class DiscoveryWatchTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
 
     @TempDir
--- /dev/null
+++ b/src/test/java/elderseam/scenario/DishonestMember.java
@@ -0,0 +1,45 @@
+package elderseam.scenario;
+
+import elderseam.core.Clock;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.transport.GossipConfiguration;
+import elderseam.gossip.transport.GossipTransport;
+import elderseam.http.IoLoop;
+import elderseam.http.XnioStartup;
+import elderseam.settings.SettingKeys;
+import elderseam.settings.Settings;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** A member on the roster, in a process of its own, that says of destinations 1 and 2 that they are down, whatever they are. */
+final class DishonestMember {
+    private DishonestMember() {}
+
+    public static void main(String[] args) throws Exception {
+        GossipConfiguration opening =
+                GossipConfiguration.read(Settings.read(Path.of(args[0]), SettingKeys.ALL, SettingKeys.CONTRADICTIONS));
+        XnioStartup.start();
+        IoLoop io = new IoLoop(new Clock());
+        io.run(() -> {
+            try {
+                new GossipTransport(
+                        io,
+                        opening.place(),
+                        opening.keys(),
+                        GossipTimings.USUAL,
+                        new GossipTransport.Ties(
+                                () -> List.of(
+                                        new GossipAgent.Own(1, HealthReport.State.OPEN, 10_000, 100, 100),
+                                        new GossipAgent.Own(2, HealthReport.State.OPEN, 10_000, 100, 100)),
+                                (destination, word) -> {},
+                                System.err::println));
+            } catch (IOException e) {
+                e.printStackTrace();
+                Runtime.getRuntime().halt(1);
+            }
+        });
+    }
+}
--- a/src/test/java/elderseam/scenario/UpstreamEndsTest.java
+++ b/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** How connections to upstream hosts end, and what that says of the request on them, by PROTOCOL. SpoiltTest has answers that do not fit. */
-class UpstreamEndsTest {
+class EndpointConnectionEndTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
     private static final String OUT =
             "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
@@ -147,7 +147,7 @@
             s.start();
             s.run("platform send h1 DRAINING\nplatform send h3 SERVING\noperator wait INFO -> hosts_listed=3\n"
                     + "c send POST /rent-payment; {to} X-Txn: pay\nc expect 202\n".replace("{to}", TO));
-            long last = System.nanoTime() + Wire.PATIENCE_S * 1_000_000_000L;
+            long last = System.nanoTime() + RawHttpSocket.PATIENCE_S * 1_000_000_000L;
             while (!asks(full.getLocalPort())) {
                 assertTrue(System.nanoTime() < last, "no connection is asked for");
             }
@@ -162,7 +162,7 @@
                     head.append((char) late.getInputStream().read());
                 }
                 assertTrue(head.indexOf("X-Txn: pay") > 0, head.toString());
-                late.getOutputStream().write(Wire.answer(200, "", "").getBytes());
+                late.getOutputStream().write(RawHttpSocket.answer(200, "", "").getBytes());
                 s.run("operator wait INFO -> rent-payment.success=1\n");
             }
         }
--- a/src/test/java/elderseam/scenario/GossipCost.java
+++ b/src/test/java/elderseam/scenario/GossipCost.java
@@ -1,6 +1,6 @@
 package elderseam.scenario;
 
-import elderseam.gossip.trust.KeyFile;
+import elderseam.gossip.security.KeyFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,7 +18,7 @@
             List<Scenario> all = new ArrayList<>();
             List<String> roster = new ArrayList<>(), at = new ArrayList<>();
             for (int i = 0; i < PROCESSES; i++) {
-                at.add(Wire.own().getHostAddress());
+                at.add(RawHttpSocket.own().getHostAddress());
                 roster.add("n" + i + " " + at.get(i) + " "
                         + KeyFile.make(folder.resolve("k" + i)).text());
             }
--- a/src/test/java/elderseam/scenario/GossipFleet.java
+++ b/src/test/java/elderseam/scenario/GossipFleet.java
@@ -1,6 +1,6 @@
 package elderseam.scenario;
 
-import elderseam.gossip.trust.KeyFile;
+import elderseam.gossip.security.KeyFile;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -44,7 +44,7 @@
             port = free.getLocalPort(); // at addresses that nobody else uses
         }
         for (String name : names) {
-            at.put(name, Wire.own());
+            at.put(name, RawHttpSocket.own());
             Files.createDirectories(folder.resolve(name));
             lines.put(
                     name,
--- a/src/test/java/elderseam/scenario/GossipTest.java
+++ b/src/test/java/elderseam/scenario/GossipTest.java
@@ -28,7 +28,7 @@
                         "-Xmx64m",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "elderseam.scenario.LyingPeer",
+                        "elderseam.scenario.DishonestMember",
                         settings.toString())
                 .redirectErrorStream(true)
                 .redirectOutput(folder.resolve("liar.log").toFile())
--- a/src/test/java/elderseam/scenario/UpgradeTest.java
+++ b/src/test/java/elderseam/scenario/HandoverScenarioTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.upgrade.Frame;
-import elderseam.upgrade.Link;
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program started beside itself: two processes, one dispatcher. */
-class UpgradeTest {
+class HandoverScenarioTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
 
     @TempDir
@@ -127,13 +127,14 @@
                     c expect 202
                     h1 expect pay
                     """.replace("{to}", TO));
-            Link link = s.asking();
-            assertTrue(link.await() instanceof Frame.Give g && g.estate().out().size() == 1);
+            HandoverChannel link = s.asking();
+            assertTrue(link.await() instanceof HandoverFrame.Give g
+                    && g.estate().out().size() == 1);
             s.run("""
                     h1 send 200
                     c send POST /status-update; {to} X-Txn: say
                     """.replace("{to}", TO));
-            assertTrue(link.await() instanceof Frame.Ended);
+            assertTrue(link.await() instanceof HandoverFrame.Ended);
             link.close();
             s.run("""
                     c expect 202
--- a/src/test/java/elderseam/scenario/GuardTest.java
+++ b/src/test/java/elderseam/scenario/InvalidRequestTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that keep to nothing, on both fronts: each gets an error or a close within 3 s, and harms no other. */
-class GuardTest {
+class InvalidRequestTest {
     private static final String HEAD =
             " HTTP/1.1\\r\\nHost: relay\\r\\nX-Org: erongo-lettings\\r\\nX-Addressing: dest=1\\r\\n"
                     + "X-Remaining: 9000m\\r\\nce-specversion: 1.0\\r\\nce-type: rent-payment\\r\\nce-source: /b\\r\\n"
--- a/src/test/java/elderseam/scenario/SpoiltTest.java
+++ b/src/test/java/elderseam/scenario/MalformedResponseTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Answers of upstream hosts that are spoilt, or carry more than belongs to them, on both fronts. */
-class SpoiltTest {
+class MalformedResponseTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m;";
     private static final String EVENT =
             "POST /events; ce-specversion: 1.0; ce-type: rent-payment; ce-source: /books;" + " ce-destination: 1;";
--- a/src/test/java/elderseam/scenario/HardDayTest.java
+++ b/src/test/java/elderseam/scenario/MisbehavingClientsTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Requests in pieces, connections that stay silent, and clients that leave: others are served, and each end is counted. */
-class HardDayTest {
+class MisbehavingClientsTest {
     @TempDir
     Path folder;
 
--- a/src/test/java/elderseam/scenario/FloodTest.java
+++ b/src/test/java/elderseam/scenario/OverloadTest.java
@@ -14,7 +14,7 @@
 
 /** A flood takes a core: no other class runs beside it. */
 @Isolated
-class FloodTest extends GossipFleet {
+class OverloadTest extends GossipFleet {
     /** Junk at full speed at the port of one that goes on serving; it is counted, and the fleet holds. */
     @Test
     void aFloodOfJunk() throws Exception {
--- a/src/test/java/elderseam/scenario/EndingsTest.java
+++ b/src/test/java/elderseam/scenario/ProcessEndTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** SIGTERM and SIGKILL at each step of a request: what is owed then is kept, and nothing once-only goes twice (docs/endings.md). */
-class EndingsTest {
+class ProcessEndTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
     private static final String OUT =
             "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
@@ -123,7 +123,7 @@
             s.run(WAITS.replace("{to}", TO));
             Path learned = s.state().resolve("learned");
             FileTime told = FileTime.from(Instant.now());
-            long last = System.nanoTime() + Wire.PATIENCE_S * 1_000_000_000L;
+            long last = System.nanoTime() + RawHttpSocket.PATIENCE_S * 1_000_000_000L;
             while (!Files.exists(learned)
                     || Files.getLastModifiedTime(learned).compareTo(told) < 0) { // kept once a second
                 assertTrue(System.nanoTime() < last, "nothing that is learned is kept");
--- a/src/test/java/elderseam/scenario/Wire.java
+++ b/src/test/java/elderseam/scenario/RawHttpSocket.java
@@ -15,14 +15,14 @@
 import java.util.function.Consumer;
 
 /** Plain sockets for the stand-ins: whole HTTP messages as text, one for each read. */
-final class Wire {
+final class RawHttpSocket {
     static final long PATIENCE_S = 20;
     /** What a queue holds once a connection has ended. */
     static final String ENDED = "(ended)";
 
     private static final AtomicInteger GIVEN = new AtomicInteger();
 
-    private Wire() {}
+    private RawHttpSocket() {}
 
     /** One connection, and the messages that have come on it. */
     static final class Link {
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.handover.HandoverChannel;
+import elderseam.handover.HandoverFrame;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -63,14 +65,14 @@
     private static final int SOCKETS = 256; // the program is held to it
 
     private final Path folder;
-    private final Map<String, Wire.Link> links = new HashMap<>();
+    private final Map<String, RawHttpSocket.Link> links = new HashMap<>();
     private final Map<String, Host> hosts = new HashMap<>();
     private final Map<String, ServerSocket> places = new ConcurrentHashMap<>();
     private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private volatile News news = new News();
     private final BlockingQueue<Long> gaps = new LinkedBlockingQueue<>(); // ms from an answer to the next watch
-    private final List<Wire.Link> platformLinks = new ArrayList<>();
-    private final InetAddress place = Wire.own(); // of the platform
+    private final List<RawHttpSocket.Link> platformLinks = new ArrayList<>();
+    private final InetAddress place = RawHttpSocket.own(); // of the platform
     private ServerSocket platform;
     private volatile long answered = System.nanoTime();
     private final long diskMb;
@@ -101,9 +103,9 @@
         record Told(List<String> changes, int version) {}
 
         /** What is newer than that version, awaited for so many looks of 50 ms; null where the watch has been given up. */
-        synchronized Told since(int seen, Wire.Link link, int looks) throws InterruptedException {
+        synchronized Told since(int seen, RawHttpSocket.Link link, int looks) throws InterruptedException {
             for (int i = 0; i < looks; i++) {
-                if (link.read.contains(Wire.ENDED)) {
+                if (link.read.contains(RawHttpSocket.ENDED)) {
                     return null;
                 }
                 if (!tricks.isEmpty()) {
@@ -121,18 +123,18 @@
 
     /** A stand-in upstream host. */
     private static final class Host {
-        record Asked(Wire.Link link, String message) {}
+        record Asked(RawHttpSocket.Link link, String message) {}
 
         final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
-        final List<Wire.Link> links = new ArrayList<>();
+        final List<RawHttpSocket.Link> links = new ArrayList<>();
         final BlockingQueue<Socket> narrow = new LinkedBlockingQueue<>(); // connections of which nothing is read yet
         final ServerSocket server;
-        Wire.Link last;
+        RawHttpSocket.Link last;
         Socket begun;
         boolean narrows;
 
         Host() throws IOException {
-            server = Wire.listen(Wire.own(), 0, socket -> {
+            server = RawHttpSocket.listen(RawHttpSocket.own(), 0, socket -> {
                 if (narrows) {
                     narrow.add(socket);
                 } else {
@@ -142,9 +144,9 @@
         }
 
         private synchronized void take(Socket socket) {
-            Wire.Link[] link = new Wire.Link[1];
+            RawHttpSocket.Link[] link = new RawHttpSocket.Link[1];
             synchronized (links) {
-                link[0] = new Wire.Link(socket, m -> {
+                link[0] = new RawHttpSocket.Link(socket, m -> {
                     synchronized (links) {
                         asked.add(new Asked(link[0], m));
                     }
@@ -168,10 +170,10 @@
     }
 
     private void listen(int port) throws IOException {
-        platform = Wire.listen(place, port, socket -> {
-            Wire.Link[] link = new Wire.Link[1];
+        platform = RawHttpSocket.listen(place, port, socket -> {
+            RawHttpSocket.Link[] link = new RawHttpSocket.Link[1];
             synchronized (links) {
-                link[0] = new Wire.Link(socket, m -> answer(link, m));
+                link[0] = new RawHttpSocket.Link(socket, m -> answer(link, m));
                 platformLinks.add(link[0]);
             }
         });
@@ -222,7 +224,7 @@
         if (verb.equals("expect")) {
             String line;
             do {
-                line = said.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                line = said.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
                 assertNotNull(line, "the log does not say so");
             } while (!line.contains(words));
             return;
@@ -237,7 +239,7 @@
         switch (verb + " " + words) {
             case "wait start" -> start();
             case "wait beside" -> {
-                Map<String, Wire.Link> kept = Map.copyOf(links);
+                Map<String, RawHttpSocket.Link> kept = Map.copyOf(links);
                 older = program;
                 launch();
                 links.putAll(kept);
@@ -255,7 +257,7 @@
             case "close kill" -> p.destroyForcibly().waitFor();
             case "close term" -> p.toHandle().destroy(); // the process's own destroy() closes its log, too
             default -> {
-                assertTrue(p.waitFor(Wire.PATIENCE_S, TimeUnit.SECONDS), "still running");
+                assertTrue(p.waitFor(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS), "still running");
                 assertEquals("wait exit " + p.exitValue(), verb + " " + words);
             }
         }
@@ -263,7 +265,7 @@
 
     private void ask(String[] part, boolean until) throws Exception {
         String answer;
-        long last = System.nanoTime() + Wire.PATIENCE_S * 1_000_000_000L;
+        long last = System.nanoTime() + RawHttpSocket.PATIENCE_S * 1_000_000_000L;
         do {
             long since = System.nanoTime();
             answer = told(part[0].strip() + "\n");
@@ -278,7 +280,7 @@
     String told(String line) throws Exception {
         String[] at = front('o').split(":");
         try (Socket s = new Socket(at[0], Integer.parseInt(at[1]))) {
-            s.setSoTimeout(1_000 * (int) Wire.PATIENCE_S);
+            s.setSoTimeout(1_000 * (int) RawHttpSocket.PATIENCE_S);
             s.getOutputStream().write(line.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
             return new String(s.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.ISO_8859_1);
         }
@@ -329,7 +331,7 @@
             case "linked" -> assertEquals(Integer.parseInt(words), platformLinks.size(), "connections");
             case "close" -> {
                 platform.close();
-                for (Wire.Link link : List.copyOf(platformLinks)) {
+                for (RawHttpSocket.Link link : List.copyOf(platformLinks)) {
                     link.reset();
                 }
             }
@@ -343,10 +345,10 @@
             }
             case "start" -> listen(platform.getLocalPort());
             case "watched" -> {
-                Long gap = gaps.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                Long gap = gaps.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
                 assertTrue(gap != null && gap <= Long.parseLong(words), "next watch after " + gap + " ms");
             }
-            case "expect" -> holds(notices.poll(Wire.PATIENCE_S, TimeUnit.SECONDS), words);
+            case "expect" -> holds(notices.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS), words);
             default -> quiet(notices, words);
         }
     }
@@ -354,7 +356,7 @@
     private void host(Host h, String verb, String words) throws Exception {
         switch (verb) {
             case "expect" -> {
-                Host.Asked asked = h.asked.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                Host.Asked asked = h.asked.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
                 assertNotNull(asked, "no request came");
                 h.last = asked.link;
                 h.last.read.remove(asked.message);
@@ -368,17 +370,17 @@
                 if (words.equals("all")) {
                     h.server.close();
                 }
-                for (Wire.Link link : List.copyOf(h.links)) {
+                for (RawHttpSocket.Link link : List.copyOf(h.links)) {
                     link.reset();
                 }
             }
             default -> {
                 if (words.equals("begun")) {
-                    h.begun = h.narrow.poll(Wire.PATIENCE_S, TimeUnit.SECONDS);
+                    h.begun = h.narrow.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
                     assertNotNull(h.begun, "no connection came");
                     assertEquals('P', h.begun.getInputStream().read(), "the first byte of POST");
                 } else if (words.equals("closed")) {
-                    assertEquals(Wire.ENDED, h.last.read.poll(CLOSED_S, TimeUnit.SECONDS));
+                    assertEquals(RawHttpSocket.ENDED, h.last.read.poll(CLOSED_S, TimeUnit.SECONDS));
                 } else {
                     quiet(h.asked, words);
                 }
@@ -389,7 +391,7 @@
     private void client(String name, String verb, String words) throws Exception {
         switch (verb) {
             case "send" -> {
-                Wire.Link link = link(name); // the front is ready first: an instant counts from the sending
+                RawHttpSocket.Link link = link(name); // the front is ready first: an instant counts from the sending
                 link.write(request(instants(words)));
             }
             case "raw" -> link(name).write(bytes(words));
@@ -397,7 +399,7 @@
             case "close" -> links.remove(name).reset();
             case "end" -> links.get(name).socket.shutdownOutput();
             default -> {
-                Wire.Link link = links.get(name);
+                RawHttpSocket.Link link = links.get(name);
                 closed(name, words.equals("ended") ? "closed" : words);
                 assertTrue(!words.equals("ended") || !link.reset, "the connection was reset");
             }
@@ -406,11 +408,13 @@
 
     private void closed(String name, String words) throws InterruptedException {
         assertEquals(
-                Wire.ENDED,
+                RawHttpSocket.ENDED,
                 links.remove(name)
                         .read
                         .poll(
-                                words.equals("closed") ? 1_000 * Wire.PATIENCE_S : Long.parseLong(words.substring(7)),
+                                words.equals("closed")
+                                        ? 1_000 * RawHttpSocket.PATIENCE_S
+                                        : Long.parseLong(words.substring(7)),
                                 TimeUnit.MILLISECONDS));
     }
 
@@ -422,10 +426,10 @@
                         Instant.now().plusMillis(Long.parseLong(m.group(1))).toString());
     }
 
-    private Wire.Link link(String name) throws IOException {
+    private RawHttpSocket.Link link(String name) throws IOException {
         if (!links.containsKey(name)) {
             String[] at = front(name.charAt(0) == 'e' ? 'e' : 'c').split(":");
-            links.put(name, new Wire.Link(new Socket(at[0], Integer.parseInt(at[1])), m -> {}));
+            links.put(name, new RawHttpSocket.Link(new Socket(at[0], Integer.parseInt(at[1])), m -> {}));
         }
         return links.get(name);
     }
@@ -438,7 +442,7 @@
     /** Where a front (c or e) listens, once it does; d: once the program drains. */
     String front(char which) throws IOException {
         try {
-            return fronts.get(which).get(Wire.PATIENCE_S, TimeUnit.SECONDS);
+            return fronts.get(which).get(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
             throw new IOException("front " + which + " does not listen: " + e);
         }
@@ -492,14 +496,14 @@
 
     /** Starts listen at one address of this scenario's own. */
     void fixed() throws IOException {
-        address = Wire.own().getHostAddress() + ":8443";
+        address = RawHttpSocket.own().getHostAddress() + ":8443";
     }
 
     /** A link to the program such as a newer process has, on which it was asked for everything. */
-    elderseam.upgrade.Link asking() throws IOException {
+    HandoverChannel asking() throws IOException {
         front('o');
-        elderseam.upgrade.Link link = elderseam.upgrade.Link.connect(state());
-        link.send(new elderseam.upgrade.Frame.Take());
+        HandoverChannel link = HandoverChannel.connect(state());
+        link.send(new HandoverFrame.Take());
         return link;
     }
 
@@ -538,7 +542,7 @@
         for (int i = 1; i < part.length; i++) {
             headers.append(part[i].strip()).append("\r\n");
         }
-        return Wire.answer(
+        return RawHttpSocket.answer(
                 Integer.parseInt(part[0].strip()), headers.toString(), body.length > 1 ? body[1].strip() : "");
     }
 
@@ -554,10 +558,10 @@
     }
 
     /** The platform's own part: watches wait for a change of the list, notices are acknowledged unless deaf. */
-    private void answer(Wire.Link[] of, String message) {
+    private void answer(RawHttpSocket.Link[] of, String message) {
         Thread t = new Thread(() -> {
             try {
-                Wire.Link link;
+                RawHttpSocket.Link link;
                 synchronized (links) {
                     link = of[0];
                     if (!platformLinks.contains(link)) {
@@ -566,7 +570,7 @@
                 }
                 if (message.startsWith("POST /status")) {
                     if (deaf-- > 0) {
-                        link.write(Wire.answer(503, "", ""));
+                        link.write(RawHttpSocket.answer(503, "", ""));
                         return;
                     }
                     message.substring(message.indexOf("\r\n\r\n") + 4).lines().forEach(notices::add);
@@ -591,7 +595,7 @@
                 since.forEach(c ->
                         entries.append(entries.isEmpty() ? "" : ",").append(entry(c.split(" ")[0], c.split(" ")[1])));
                 String list = "{\"version\":" + heard.version + ",\"full\":false,\"servers\":[" + entries + "]}";
-                link.write(Wire.answer(200, "", indented ? indent(list) : list));
+                link.write(RawHttpSocket.answer(200, "", indented ? indent(list) : list));
                 answered = System.nanoTime();
             } catch (IOException | InterruptedException e) {
                 // the program has gone
@@ -608,7 +612,8 @@
     }
 
     private String entry(String name, String state) {
-        return "{\"id\":\"" + name + "\",\"addr\":\"" + Wire.address(places.getOrDefault(name, hosts.get(name).server))
+        return "{\"id\":\"" + name + "\",\"addr\":\""
+                + RawHttpSocket.address(places.getOrDefault(name, hosts.get(name).server))
                 + "\",\"zone\":\"z\","
                 + "\"kind\":\"bank\",\"cell\":" + (name.charAt(1) % 2 == 1 ? 1 : 2) + ",\"state\":\"" + state
                 + "\",\"weight\":50.0,\"started_ms\":0}";
@@ -647,7 +652,7 @@
                         "RELAY_LISTEN",
                         address,
                         "RELAY_DISCOVERY",
-                        Wire.address(platform),
+                        RawHttpSocket.address(platform),
                         "RELAY_STATE",
                         folder.resolve("state").toString(),
                         "RELAY_CONFIG",
@@ -705,7 +710,8 @@
                 folder.resolve("config.json"),
                 !words.isEmpty()
                         ? words
-                        : "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + Wire.address(platform)
+                        : "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\""
+                                + RawHttpSocket.address(platform)
                                 + "\",\"limits\":{\"sockets\":" + SOCKETS + ",\"memory_mb\":32,\"disk_mb\":" + diskMb
                                 + "},\"known\":{\"version\":1,\"full\":true,\"servers\":["
                                 + entry("h1", "SERVING") + "," + entry("h2", "SERVING") + "]},\"settings\":" + told
--- a/src/test/java/elderseam/scenario/SecureEventsTest.java
+++ b/src/test/java/elderseam/scenario/SecureEventsTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.acme.AcmeTest;
-import elderseam.acme.Authority;
 import elderseam.core.Clock;
-import elderseam.http.Io;
+import elderseam.http.IoLoop;
+import elderseam.testkit.acme.StandInAuthority;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -25,8 +25,8 @@
     @Test
     void anEventOverTls() throws Exception {
         int port = AcmeTest.freePort();
-        Authority authority =
-                new Authority(new Io(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
+        StandInAuthority authority = new StandInAuthority(
+                new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
         try (Scenario s = new Scenario(folder)) {
             s.events("[acme]\ndirectory = " + authority.directory() + "\nnames = localhost\nfolder = "
                     + folder.resolve("certificates") + "\nchallenges = 127.0.0.1:" + port + "\n");
--- a/src/test/java/elderseam/scenario/LateTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.Answer;
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
+import elderseam.core.FinalOutcome;
 import elderseam.core.Journal;
-import elderseam.core.Stream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +18,7 @@
 
 /** What must hold when the process is late: starved, suspended, or just back with much to take back. */
 @Isolated("one of its tests takes every core")
-class LateTest {
+class StalledProcessTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
 
     @TempDir
@@ -110,11 +110,11 @@
                 String id = "m" + i;
                 boolean due = i % 2 == 0;
                 long by = clock.now() + (due ? -1_000 + i : 20_000) * Clock.MS;
-                Stream.Message m =
-                        new Stream.Message(id, (byte) 0, i % 3, 0, 1, by, by, false, true, "k" + i, new byte[200]);
+                ActiveRequest.Message m = new ActiveRequest.Message(
+                        id, (byte) 0, i % 3, 0, 1, by, by, false, true, "k" + i, new byte[200]);
                 assertTrue(journal.taken(m));
                 if (i % 5 == 1) {
-                    journal.ended(m, i % 4 == 1 ? Answer.FAILED : Answer.refused(500 * Clock.MS), true);
+                    journal.ended(m, i % 4 == 1 ? FinalOutcome.FAILED : FinalOutcome.refused(500 * Clock.MS), true);
                     owed.add(id);
                     continue;
                 }
--- a/src/test/java/elderseam/scenario/LeanTest.java
+++ b/src/test/java/elderseam/scenario/StartupClassLoadingTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** What a start loads: nothing that the platform does not use. */
-class LeanTest {
+class StartupClassLoadingTest {
     private static final List<String> UNUSED = List.of(
             "io.cloudevents.",
             "com.fasterxml.jackson.databind.",
@@ -19,31 +19,31 @@
             "org.shredzone.",
             "org.jose4j.",
             "elderseam.acme.",
-            "elderseam.cloudevents.EventFront",
-            "elderseam.cloudevents.EventCodec",
-            "elderseam.wiring.EventsWiring",
-            "elderseam.wiring.GossipWiring",
+            "elderseam.frontend.cloudevents.EventFrontend",
+            "elderseam.frontend.cloudevents.EventCodec",
+            "elderseam.app.CloudEventsSetup",
+            "elderseam.app.GossipService",
             "elderseam.gossip.",
             "elderseam.rules.",
-            "elderseam.emulator.",
-            "elderseam.lab.",
+            "elderseam.testkit.emulator.",
+            "elderseam.testkit.lab.",
             "org.apache.commons.rng.",
             "org.HdrHistogram.",
             "org.knowm.",
-            "elderseam.wiring.RulesWiring",
-            "elderseam.http.RequestFacts",
+            "elderseam.app.RulesSetup",
+            "elderseam.http.HttpRequestAttributes",
             "elderseam.http.HeaderView",
             "com.google.re2j.",
             "com.dynatrace.",
             "inet.ipaddr.",
             "elderseam.cli.",
             "picocli.",
-            "elderseam.wiring.Training",
-            "elderseam.wiring.Rehearsals",
-            "elderseam.sim.",
+            "elderseam.app.ClassArchiveTraining",
+            "elderseam.testkit.TestKitLauncher",
+            "elderseam.testkit.simulator.",
             "elderseam.fleet.",
-            "elderseam.wiring.FleetWiring",
-            "elderseam.core.RehearsedClock",
+            "elderseam.app.LeaseService",
+            "elderseam.core.SkewedClock",
             "org.apache.ratis.",
             "com.sun.jmx.mbeanserver.JmxMBeanServer");
 
@@ -76,6 +76,6 @@
     @Test
     void theSecondFrontAndItsLibrariesAreNotLoadedWhileItIsOff() throws Exception {
         assertEquals(List.of(), loaded(false));
-        assertTrue(loaded(true).contains("elderseam.wiring.EventsWiring"), "the log shows what is on");
+        assertTrue(loaded(true).contains("elderseam.app.CloudEventsSetup"), "the log shows what is on");
     }
 }
--- a/src/test/java/elderseam/settings/SettingsTest.java
+++ b/src/test/java/elderseam/settings/SettingsTest.java
@@ -19,7 +19,8 @@
     Path folder;
 
     private Settings read(String text) throws Exception {
-        return Settings.read(Files.writeString(folder.resolve("s.ini"), text), Keys.ALL, Keys.CONTRADICTIONS);
+        return Settings.read(
+                Files.writeString(folder.resolve("s.ini"), text), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
     private List<String> faults(String text) {
@@ -32,14 +33,14 @@
     void valuesAndWhereTheyComeFrom() throws Exception {
         Settings s = read(
                 "# a comment\n[events]\nlisten = 127.0.0.1:8080\n\n  webhook_origins = a.example, b.example\n[acme]\n");
-        assertEquals("127.0.0.1:8080", s.get(Keys.EVENTS_LISTEN));
-        assertEquals(List.of("a.example", "b.example"), s.get(Keys.EVENTS_WEBHOOK_ORIGINS));
-        assertEquals(3_600L, s.get(Keys.EVENTS_REMEMBER_S));
-        assertEquals(folder.resolve("s.ini") + ":3", s.origin(Keys.EVENTS_LISTEN));
-        assertEquals("default", s.origin(Keys.EVENTS_REMEMBER_S));
+        assertEquals("127.0.0.1:8080", s.get(SettingKeys.EVENTS_LISTEN));
+        assertEquals(List.of("a.example", "b.example"), s.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS));
+        assertEquals(3_600L, s.get(SettingKeys.EVENTS_REMEMBER_S));
+        assertEquals(folder.resolve("s.ini") + ":3", s.origin(SettingKeys.EVENTS_LISTEN));
+        assertEquals("default", s.origin(SettingKeys.EVENTS_REMEMBER_S));
         assertEquals(
                 List.of("events.listen", "events.webhook_origins"),
-                Settings.none().changed(s, Keys.ALL, false));
+                Settings.none().changed(s, SettingKeys.ALL, false));
     }
 
     /** All at once, in the order of the file. */
@@ -89,14 +90,17 @@
     @Test
     void whatIsNoTextFile() throws Exception {
         Files.write(folder.resolve("s.ini"), new byte[] {'[', (byte) 0xff, ']'});
-        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), Keys.ALL, List.of()))
+        assertTrue(assertThrows(
+                        SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), SettingKeys.ALL, List.of()))
                 .getMessage()
                 .endsWith("not UTF-8 text"));
         Files.write(folder.resolve("s.ini"), "#".repeat(2 << 20).getBytes(StandardCharsets.UTF_8));
-        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), Keys.ALL, List.of()))
+        assertTrue(assertThrows(
+                        SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), SettingKeys.ALL, List.of()))
                 .getMessage()
                 .contains("a settings file is smaller"));
-        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("none"), Keys.ALL, List.of()))
+        assertTrue(assertThrows(
+                        SettingsFault.class, () -> Settings.read(folder.resolve("none"), SettingKeys.ALL, List.of()))
                 .getMessage()
                 .endsWith("there is no such file"));
     }
@@ -105,8 +109,8 @@
     @Test
     void theShippedFileShowsTheDefaults() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("deploy/elderseam.ini"));
-        Settings shipped = Settings.read(Path.of("deploy/elderseam.ini"), Keys.ALL, Keys.CONTRADICTIONS);
-        for (Key<?> k : Keys.ALL) {
+        Settings shipped = Settings.read(Path.of("deploy/elderseam.ini"), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        for (SettingKey<?> k : SettingKeys.ALL) {
             assertEquals("default", shipped.origin(k));
             assertTrue(lines.contains(("# " + k.name() + " = " + k.absent()).stripTrailing()), k.path());
         }
--- a/src/test/java/elderseam/emulator/WorldTest.java
+++ b/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
@@ -1,12 +1,12 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
 import elderseam.settings.SettingsFault;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class WorldTest {
+class EmulatedWorldTest {
     private static final long MS = 1_000_000, S = 1_000 * MS;
     private static final String BASE = """
             [scenario small]
@@ -37,23 +37,24 @@
             tenants = 3
             """;
 
-    private static Map<String, Double> play(String more, String policy, long seed, Checkers checkers) throws Exception {
-        Plan plan = PlanFile.of("small", (BASE + more).lines().toList(), Map.of());
-        Tally tally = new Tally(plan);
-        new World(plan, policy, seed, List.of(tally, checkers)).run(s -> {});
+    private static Map<String, Double> play(String more, String policy, long seed, RuleCheckers checkers)
+            throws Exception {
+        Scenario plan = ScenarioFile.of("small", (BASE + more).lines().toList(), Map.of());
+        RunStatistics tally = new RunStatistics(plan);
+        new EmulatedWorld(plan, policy, seed, List.of(tally, checkers)).run(s -> {});
         return tally.figures();
     }
 
-    private static String trouble(Plan.Fault fault) {
+    private static String trouble(Scenario.Fault fault) {
         return "[trouble t]\nkind = bank\npart = 0.5\nat = 8\nfor = 6\nfault = "
                 + fault.name().toLowerCase() + "\n";
     }
 
     /** The real core, through each kind of trouble with a kill in it: no rule is broken, and what is left is served. */
     @ParameterizedTest
-    @EnumSource(Plan.Fault.class)
-    void theModuleKeepsTheRulesInEachTrouble(Plan.Fault fault) throws Exception {
-        Checkers c = new Checkers(64);
+    @EnumSource(Scenario.Fault.class)
+    void theModuleKeepsTheRulesInEachTrouble(Scenario.Fault fault) throws Exception {
+        RuleCheckers c = new RuleCheckers(64);
         Map<String, Double> f = play(
                 trouble(fault) + "[restart r]\nat = 10\nwithin = 2\npart = 0.6\nhow = kill\n[network n]\nloss = 0.01\n",
                 "module",
@@ -66,7 +67,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"arrivals = bursty", "arrivals = clumped", "arrivals = diurnal\nmonth_end = on"})
     void theModuleKeepsTheRulesHoweverMessagesArrive(String arrivals) throws Exception {
-        Checkers c = new Checkers(64);
+        RuleCheckers c = new RuleCheckers(64);
         play(
                 arrivals
                         + "\n[flood f]\ntenant = 2\nfactor = 5.9\nat = 5\nfor = 10\n[restart r]\nat = 12\nwithin = 2\npart = 1\nhow = term\n"
@@ -81,16 +82,16 @@
     @ParameterizedTest
     @ValueSource(ints = {8, 48})
     void aFleetOutlivesAMassKill(int dispatchers) throws Exception {
-        Plan plan = PlanFile.of(
+        Scenario plan = ScenarioFile.of(
                 "herd",
-                (BASE.replace("dispatchers = 3", "dispatchers = " + dispatchers) + trouble(Plan.Fault.FAIL)
+                (BASE.replace("dispatchers = 3", "dispatchers = " + dispatchers) + trouble(Scenario.Fault.FAIL)
                                 + "[restart r]\nat = 12\nwithin = 0.5\npart = 0.8\nhow = kill\n[discovery d]\nlate_ms = 400\ndown_at = 12\ndown_for = 4\n")
                         .lines()
                         .toList(),
                 Map.of());
-        Checkers c = new Checkers(64);
-        Tally tally = new Tally(plan);
-        new World(plan, "module", 4, List.of(tally, c)).run(s -> {});
+        RuleCheckers c = new RuleCheckers(64);
+        RunStatistics tally = new RunStatistics(plan);
+        new EmulatedWorld(plan, "module", 4, List.of(tally, c)).run(s -> {});
         Map<String, Double> f = tally.figures();
         assertEquals(Map.of(), c.broken(), c.words());
         assertTrue(f.get("service") > 0.7, f.toString());
@@ -102,46 +103,48 @@
     void oneSeedGivesOneCourse() throws Exception {
         for (String policy : Policies.names()) {
             assertEquals(
-                    play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)),
-                    play(trouble(Plan.Fault.HANG), policy, 3, new Checkers(64)),
+                    play(trouble(Scenario.Fault.HANG), policy, 3, new RuleCheckers(64)),
+                    play(trouble(Scenario.Fault.HANG), policy, 3, new RuleCheckers(64)),
                     policy);
         }
-        assertNotEquals(play("", "module", 3, new Checkers(64)), play("", "module", 4, new Checkers(64)));
+        assertNotEquals(play("", "module", 3, new RuleCheckers(64)), play("", "module", 4, new RuleCheckers(64)));
     }
 
     /** What hangs and what is felled costs plain retries dear, and the module little; who knows all loses least. */
     @Test
     void policiesStandInTheirOrder() throws Exception {
-        String day = trouble(Plan.Fault.HANG)
-                + trouble(Plan.Fault.FAIL).replace("[trouble t]", "[trouble u]").replace("bank", "shop");
-        double module = play(day, "module", 1, new Checkers(64)).get("service"),
-                robin = play(day, "robin", 1, new Checkers(64)).get("service"),
-                oracle = play(day, "oracle", 1, new Checkers(64)).get("service");
+        String day = trouble(Scenario.Fault.HANG)
+                + trouble(Scenario.Fault.FAIL)
+                        .replace("[trouble t]", "[trouble u]")
+                        .replace("bank", "shop");
+        double module = play(day, "module", 1, new RuleCheckers(64)).get("service"),
+                robin = play(day, "robin", 1, new RuleCheckers(64)).get("service"),
+                oracle = play(day, "oracle", 1, new RuleCheckers(64)).get("service");
         assertTrue(module > robin && oracle > robin, "module " + module + ", robin " + robin + ", oracle " + oracle);
     }
 
     // ---------------------------------------------------------------- the model itself
 
-    private static Destination destination(String values) throws SettingsFault {
-        Plan p = PlanFile.of(
+    private static EmulatedDestination destination(String values) throws SettingsFault {
+        Scenario p = ScenarioFile.of(
                 "d",
                 ("[kind k]\nerrors = 0\nspread = 0\nservice_ms = 10\n" + values)
                         .lines()
                         .toList(),
                 Map.of());
-        return new Destination(1, p.kinds().get(0), 1, new Watcher() {});
+        return new EmulatedDestination(1, p.kinds().get(0), 1, new WorldListener() {});
     }
 
-    private static Destination.Reply call(Destination d, long now) {
-        return d.call(now, 0, new Watcher.Msg("m" + now, 0, 0, 1, 0, S), 1);
+    private static EmulatedDestination.Reply call(EmulatedDestination d, long now) {
+        return d.call(now, 0, new WorldListener.Msg("m" + now, 0, 0, 1, 0, S), 1);
     }
 
     @Test
     void aRateLetsItsCallsPassAndSaysHowLongToWait() throws Exception {
-        Destination d = destination("per_s = 10\n");
+        EmulatedDestination d = destination("per_s = 10\n");
         int passed = 0;
         for (long t = 0; t < 10 * S; t += 10 * MS) {
-            Destination.Reply r = call(d, t);
+            EmulatedDestination.Reply r = call(d, t);
             passed += r.status() == Status.DELIVERED ? 1 : 0;
             assertTrue(r.status() == Status.DELIVERED || r.waitNs() > 0 && r.waitNs() <= 150 * MS, r.toString());
         }
@@ -150,7 +153,7 @@
 
     @Test
     void refusedCallsCountWhereTheyDo() throws Exception {
-        Destination counts = destination("per_s = 10\nrefused_count = on\n"), not = destination("per_s = 10\n");
+        EmulatedDestination counts = destination("per_s = 10\nrefused_count = on\n"), not = destination("per_s = 10\n");
         int a = 0, b = 0;
         for (long t = 0; t < 10 * S; t += 10 * MS) {
             a += call(counts, t).status() == Status.DELIVERED ? 1 : 0;
@@ -161,10 +164,10 @@
 
     @Test
     void slotsAndQueuesHold() throws Exception {
-        Destination d = destination("limit = none\nslots = 2\nqueue = 3\n");
+        EmulatedDestination d = destination("limit = none\nslots = 2\nqueue = 3\n");
         List<Long> took = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            Destination.Reply r = d.call(0, 0, new Watcher.Msg("m" + i, 0, 0, 1, 0, S), 1);
+            EmulatedDestination.Reply r = d.call(0, 0, new WorldListener.Msg("m" + i, 0, 0, 1, 0, S), 1);
             took.add(r.status() == Status.DELIVERED ? r.afterNs() / MS : -1);
         }
         assertEquals(List.of(10L, 10L, 20L, 20L, 30L, -1L), took);
@@ -175,19 +178,19 @@
     @Test
     void aColdReturnFallsWhenPushed() throws Exception {
         int[] felled = new int[1];
-        Plan p = PlanFile.of(
+        Scenario p = ScenarioFile.of(
                 "d",
                 "[kind k]\nerrors = 0\nper_s = 100\nlimit = none\ncold_ms = 10000\nfall_ms = 1000"
                         .lines()
                         .toList(),
                 Map.of());
-        Destination d = new Destination(1, p.kinds().get(0), 1, new Watcher() {
+        EmulatedDestination d = new EmulatedDestination(1, p.kinds().get(0), 1, new WorldListener() {
             @Override
             public void felled(long now, long destination) {
                 felled[0]++;
             }
         });
-        d.trouble(0, S, Plan.Fault.FAIL, 1);
+        d.trouble(0, S, Scenario.Fault.FAIL, 1);
         assertEquals(Progress.NOT_CONNECTED, call(d, 0).progress());
         d.returns(S);
         for (long t = S; t < 3 * S; t += 25 * MS) {
@@ -205,13 +208,15 @@
     /** Streams of random numbers are apart: a policy that calls more meets the same arrivals. */
     @Test
     void streamsDoNotShiftEachOther() {
-        Draws a = new Draws(1), b = new Draws(1);
+        RandomStreams a = new RandomStreams(1), b = new RandomStreams(1);
         a.of("other").nextLong();
         assertEquals(a.of("arrivals").nextLong(), b.of("arrivals").nextLong());
-        assertNotEquals(new Draws(1).of("x").nextLong(), new Draws(1).of("y").nextLong());
+        assertNotEquals(
+                new RandomStreams(1).of("x").nextLong(),
+                new RandomStreams(1).of("y").nextLong());
         Map<Integer, Integer> counts = new HashMap<>();
         for (int i = 0; i < 10_000; i++) {
-            counts.merge((int) (10 * Draws.unit(1, "m" + i, 1, 1)), 1, Integer::sum);
+            counts.merge((int) (10 * RandomStreams.unit(1, "m" + i, 1, 1)), 1, Integer::sum);
         }
         counts.values().forEach(n -> assertEquals(1_000, n, 150));
     }
@@ -235,7 +240,7 @@
     void faultsOfAScenarioAreTold(String line) {
         String[] part = line.split("\\|");
         SettingsFault f = assertThrows(
-                SettingsFault.class, () -> PlanFile.of("a", part[0].lines().toList(), Map.of()));
+                SettingsFault.class, () -> ScenarioFile.of("a", part[0].lines().toList(), Map.of()));
         assertTrue(f.faults().stream().anyMatch(x -> x.startsWith(part[1])), f.faults()::toString);
     }
 }
--- a/src/test/java/elderseam/emulator/CheckersTest.java
+++ b/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
@@ -1,14 +1,14 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.Answer;
-import elderseam.core.Attempt;
-import elderseam.core.Stream;
-import elderseam.core.UpstreamRequest;
-import elderseam.emulator.Checkers.Rule;
-import elderseam.module.Sender;
+import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptListener;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.RuleCheckers.Rule;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,9 +18,9 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Each rule is broken once by a dispatcher with that very fault, in a whole world, and its checker must say so. */
-class CheckersTest {
+class RuleCheckersTest {
     /** Sends each message at once to its first endpoint, and answers as it hears; keeps to every rule but the planted one. */
-    private static final class Faulty implements Instance {
+    private static final class Faulty implements EmulatedDispatcher {
         private final Place place;
         private final Rule fault;
         private final Map<Long, Long> waits = new HashMap<>();
@@ -49,28 +49,28 @@
         }
 
         @Override
-        public Answer take(Stream.Message m) {
+        public FinalOutcome take(ActiveRequest.Message m) {
             long now = place.time().now();
             boolean waits = now < this.waits.getOrDefault(m.destination(), 0L) && fault != Rule.WAIT_BROKEN;
             if (waits
                     || !endpoints.containsKey(m.destination())
                     || out >= place.plan().fleet().slots() && fault != Rule.ABOVE_SLOTS) {
-                return Answer.refused(1);
+                return FinalOutcome.refused(1);
             }
             send(m, 0, m.deadline() - 100_000_000);
             return null;
         }
 
-        private void send(Stream.Message m, int attempt, long by) {
+        private void send(ActiveRequest.Message m, int attempt, long by) {
             out++;
-            place.send(m, endpoints.get(m.destination()), by, by, new Attempt() {
+            place.send(m, endpoints.get(m.destination()), by, by, new AttemptListener() {
                 @Override
                 public boolean mayLeave() {
                     return true;
                 }
 
                 @Override
-                public void ended(UpstreamRequest.End end) {
+                public void ended(EndpointCall.End end) {
                     out--;
                     if (end.waitNs() > 0) {
                         waits.put(m.destination(), place.time().now() + end.waitNs());
@@ -79,26 +79,26 @@
                 }
 
                 @Override
-                public void answeredLate(UpstreamRequest.End end) {}
+                public void answeredLate(EndpointCall.End end) {}
             });
             if (fault == Rule.TWO_OUT && attempt == 0 && m.id().equals("m100")) {
-                place.send(m, endpoints.get(m.destination()), by, by, new Attempt() {
+                place.send(m, endpoints.get(m.destination()), by, by, new AttemptListener() {
                     @Override
                     public boolean mayLeave() {
                         return true;
                     }
 
                     @Override
-                    public void ended(UpstreamRequest.End end) {}
+                    public void ended(EndpointCall.End end) {}
 
                     @Override
-                    public void answeredLate(UpstreamRequest.End end) {}
+                    public void answeredLate(EndpointCall.End end) {}
                 });
             }
         }
 
-        private void ended(Stream.Message m, int attempt, UpstreamRequest.End end) {
-            boolean delivered = end.status() == UpstreamRequest.Status.DELIVERED;
+        private void ended(ActiveRequest.Message m, int attempt, EndpointCall.End end) {
+            boolean delivered = end.status() == EndpointCall.Status.DELIVERED;
             if (fault == Rule.EFFECT_TWICE && attempt == 0 && m.cls() == 2) {
                 place.at(place.time().now() + 1, () -> send(m, 1, m.deadline() - 100_000_000));
                 return;
@@ -106,7 +106,9 @@
             if (fault == Rule.LOST && m.id().equals("m100")) {
                 return;
             }
-            Answer answer = delivered ? Answer.DELIVERED : end.mayHaveRun() ? Answer.FAILED : Answer.refused(1);
+            FinalOutcome answer = delivered
+                    ? FinalOutcome.DELIVERED
+                    : end.mayHaveRun() ? FinalOutcome.FAILED : FinalOutcome.refused(1);
             if (fault == Rule.LATE && m.id().equals("m100")) {
                 place.at(m.deadline() + 1_000_000_000L, () -> place.ended(m, answer));
                 return;
@@ -142,17 +144,17 @@
             at = 10
             """;
 
-    private static Checkers play(Rule fault) throws Exception {
-        Plan plan = PlanFile.of("planted", PLAN.lines().toList(), Map.of());
-        Checkers checkers = new Checkers(plan.fleet().slots());
-        new World(plan, (place, store, seed) -> new Faulty(place, fault), 1, List.of(checkers)).run(s -> {});
+    private static RuleCheckers play(Rule fault) throws Exception {
+        Scenario plan = ScenarioFile.of("planted", PLAN.lines().toList(), Map.of());
+        RuleCheckers checkers = new RuleCheckers(plan.fleet().slots());
+        new EmulatedWorld(plan, (place, store, seed) -> new Faulty(place, fault), 1, List.of(checkers)).run(s -> {});
         return checkers;
     }
 
     @ParameterizedTest
     @EnumSource(Rule.class)
     void aPlantedFaultIsCaught(Rule fault) throws Exception {
-        Checkers c = play(fault);
+        RuleCheckers c = play(fault);
         assertTrue(
                 c.broken().getOrDefault(fault, 0) > 0, () -> fault + " is not among " + c.broken() + "\n" + c.words());
         assertTrue(c.words().contains(fault.name()), c.words());
--- a/src/test/java/elderseam/fleet/rig/GossipLeaseTest.java
+++ b/src/test/java/elderseam/testkit/faults/GossipOnlyLeaseTest.java
@@ -1,10 +1,11 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.fleet.selftest.GossipOnlyLease;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -20,14 +21,14 @@
 
 /** Why leases stand on a replicated log: decided by gossip alone, two processes hold one at once as soon as a link is cut. */
 @ResourceLock("rig two") // each class starts some processes: two classes at a time
-class GossipLeaseTest {
+class GossipOnlyLeaseTest {
     @TempDir
     Path folder;
 
     @Test
     void aLeaseOnGossipAloneHasTwoHoldersUnderAPartition() throws Exception {
-        FleetRun.Terms terms = new FleetRun.Terms("leases", 1, 1, "gossip", folder);
-        FleetRun.Result r = FleetRun.run(terms, System.out::println);
+        LeaseTestRun.Terms terms = new LeaseTestRun.Terms("leases", 1, 1, "gossip", folder);
+        LeaseTestRun.Result r = LeaseTestRun.run(terms, System.out::println);
         assertEquals(1, r.violations().size(), r.violations()::toString);
         assertTrue(
                 r.violations().get(0).matches("lease safety: n2/.* held gossip .* before n1/.* had stopped"),
@@ -36,15 +37,15 @@
 
     @Test
     void theRuleByItself() {
-        assertTrue(GossipLease.holds("n1", Set.of("n1"), 3, false), "cut off, it goes on seeing itself");
-        assertFalse(GossipLease.holds("n1", Set.of("n1"), 3, true));
-        assertTrue(GossipLease.holds("n2", Set.of("n2", "n3"), 3, true));
-        assertFalse(GossipLease.holds("n2", Set.of("n1", "n2"), 3, true));
+        assertTrue(GossipOnlyLease.holds("n1", Set.of("n1"), 3, false), "cut off, it goes on seeing itself");
+        assertFalse(GossipOnlyLease.holds("n1", Set.of("n1"), 3, true));
+        assertTrue(GossipOnlyLease.holds("n2", Set.of("n2", "n3"), 3, true));
+        assertFalse(GossipOnlyLease.holds("n2", Set.of("n1", "n2"), 3, true));
     }
 
     @Test
     void datagramsOnACutLinkAreLostAndAnswersGoBackTheSameWay() throws Exception {
-        Network network = new Network();
+        LinkTable network = new LinkTable();
         InetAddress here = InetAddress.getByName("127.0.0.1");
         int port;
         try (DatagramSocket free = new DatagramSocket(0, here)) {
--- a/src/test/java/elderseam/fleet/rig/CheckersTest.java
+++ b/src/test/java/elderseam/testkit/faults/HistoryCheckersTest.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,10 +14,10 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The checkers on histories by hand, each with the least that breaks it, and what a scenario file may hold. */
-class CheckersTest {
+class HistoryCheckersTest {
     private final List<JsonNode> lines = new ArrayList<>();
 
-    private CheckersTest at(long ms, String fields) throws Exception {
+    private HistoryCheckersTest at(long ms, String fields) throws Exception {
         lines.add(new ObjectMapper()
                 .readTree(("{'at_ns':" + ms * 1_000_000 + ",'lease':'l'," + fields + "}").replace('\'', '"')));
         return this;
@@ -34,9 +34,9 @@
     @Test
     void oneHolderAfterTheOtherIsSafeAndBothAtOnceIsFound() throws Exception {
         at(0, granted("a/1", 1, 900)).at(500, granted("a/1", 1, 1400)).at(1400, granted("b/1", 2, 2300));
-        assertEquals(List.of(), new Checkers(lines).leaseSafety());
+        assertEquals(List.of(), new HistoryCheckers(lines).leaseSafety());
         at(2299, granted("a/1", 3, 3000));
-        assertEquals(1, new Checkers(lines).leaseSafety().size());
+        assertEquals(1, new HistoryCheckers(lines).leaseSafety().size());
     }
 
     @Test
@@ -46,7 +46,7 @@
                 .at(200, granted("b/1", 2, 1000))
                 .at(300, "'type':'refused','holder':'b/1'")
                 .at(400, granted("c/1", 3, 1300));
-        assertEquals(List.of(), new Checkers(lines).leaseSafety());
+        assertEquals(List.of(), new HistoryCheckers(lines).leaseSafety());
     }
 
     /** What ends one lease ends no other of the same holder. */
@@ -55,11 +55,11 @@
         at(0, granted("a/1", 1, 900))
                 .at(100, "'type':'released','holder':'a/1'")
                 .at(200, granted("b/1", 2, 1000));
-        assertEquals(List.of(), new Checkers(lines).leaseSafety());
+        assertEquals(List.of(), new HistoryCheckers(lines).leaseSafety());
         lines.add(new ObjectMapper()
                 .readTree("{\"at_ns\":300000000,\"lease\":\"m\",\"type\":\"refused\",\"holder\":\"b/1\"}"));
         at(400, granted("c/1", 3, 1300));
-        assertEquals(1, new Checkers(lines).leaseSafety().size());
+        assertEquals(1, new HistoryCheckers(lines).leaseSafety().size());
     }
 
     @Test
@@ -68,16 +68,16 @@
                 .at(1000, granted("b/1", 1, 1900))
                 .at(10, effect("a/1", 1, true))
                 .at(1010, effect("b/1", 1, true));
-        assertTrue(new Checkers(lines).leaseSafety().toString().contains("granted to a/1 and to b/1"));
-        assertEquals(1, new Checkers(lines).fencing().size());
+        assertTrue(new HistoryCheckers(lines).leaseSafety().toString().contains("granted to a/1 and to b/1"));
+        assertEquals(1, new HistoryCheckers(lines).fencing().size());
     }
 
     @Test
     void anOlderTokenThatTakesEffectIsFoundAndOneThatIsFencedOffIsNot() throws Exception {
         at(0, effect("a/1", 1, true)).at(10, effect("b/1", 2, true)).at(20, effect("a/1", 1, false));
-        assertEquals(List.of(), new Checkers(lines).fencing());
+        assertEquals(List.of(), new HistoryCheckers(lines).fencing());
         at(30, effect("a/1", 1, true));
-        assertEquals(1, new Checkers(lines).fencing().size());
+        assertEquals(1, new HistoryCheckers(lines).fencing().size());
     }
 
     @Test
@@ -88,16 +88,17 @@
                 .at(1100, effect("a/1", 1, false))
                 .at(5000, "'type':'end'");
         assertEquals(
-                List.of("liveness: no act after a heal, at most 1000 ms allowed"), new Checkers(lines).liveness(1000));
-        assertEquals(List.of(), new Checkers(lines).liveness(4000));
+                List.of("liveness: no act after a heal, at most 1000 ms allowed"),
+                new HistoryCheckers(lines).liveness(1000));
+        assertEquals(List.of(), new HistoryCheckers(lines).liveness(4000));
     }
 
     @Test
     void oneSeedGivesOneSchedule(@TempDir Path folder) throws Exception {
-        FleetRun.Terms seven = new FleetRun.Terms("leases", 50, 7, null, folder),
-                eight = new FleetRun.Terms("leases", 50, 8, null, folder);
-        assertEquals(FleetRun.schedule(seven), FleetRun.schedule(seven));
-        assertTrue(!FleetRun.schedule(seven).equals(FleetRun.schedule(eight)));
+        LeaseTestRun.Terms seven = new LeaseTestRun.Terms("leases", 50, 7, null, folder),
+                eight = new LeaseTestRun.Terms("leases", 50, 8, null, folder);
+        assertEquals(LeaseTestRun.schedule(seven), LeaseTestRun.schedule(seven));
+        assertTrue(!LeaseTestRun.schedule(seven).equals(LeaseTestRun.schedule(eight)));
     }
 
     @Test
@@ -105,7 +106,8 @@
         Path file = Files.writeString(
                 folder.resolve("s"),
                 "[fleet x]\nmembers = 99\n[fault a]\nat_ms = 5\ndo = stall holder\n[fault b]\ndo = explode\nwhen = 7\n");
-        SettingsFault e = org.junit.jupiter.api.Assertions.assertThrows(SettingsFault.class, () -> Plan.read(file));
+        SettingsFault e =
+                org.junit.jupiter.api.Assertions.assertThrows(SettingsFault.class, () -> FaultSchedule.read(file));
         assertEquals(5, e.faults().size(), e.faults()::toString);
         assertTrue(
                 e.faults().get(0).contains(":2:11: fleet.x.members: '99' can't be used, allowed: 2 to 16"),
--- a/src/test/java/elderseam/fleet/rig/HardCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,26 +12,27 @@
 
 /** The hard cases of a lease, each on three real processes of the program with a fault proxy between them. */
 @ResourceLock("rig one") // each class starts some processes: two classes at a time
-class HardCasesTest {
+class LeaseFaultCasesTest {
     @TempDir
     Path folder;
 
-    private static Plan plan(long roundMs, String... faults) {
-        List<Fault> all = new java.util.ArrayList<>();
+    private static FaultSchedule plan(long roundMs, String... faults) {
+        List<FaultInjection> all = new java.util.ArrayList<>();
         for (String f : faults) {
-            all.add(Fault.parse(Long.parseLong(f.substring(0, f.indexOf(' '))), f.substring(f.indexOf(' ') + 1)));
+            all.add(FaultInjection.parse(
+                    Long.parseLong(f.substring(0, f.indexOf(' '))), f.substring(f.indexOf(' ') + 1)));
         }
-        return new Plan(3, 1_200, 5, 150, roundMs, Map.of("n1", 105), all);
+        return new FaultSchedule(3, 1_200, 5, 150, roundMs, Map.of("n1", 105), all);
     }
 
-    private FleetRun.Result play(int rounds, long roundMs, String... faults) throws Exception {
-        FleetRun.Result r = FleetRun.run(
-                plan(roundMs, faults), new FleetRun.Terms("leases", rounds, 1, null, folder), System.out::println);
+    private LeaseTestRun.Result play(int rounds, long roundMs, String... faults) throws Exception {
+        LeaseTestRun.Result r = LeaseTestRun.run(
+                plan(roundMs, faults), new LeaseTestRun.Terms("leases", rounds, 1, null, folder), System.out::println);
         assertEquals(List.of(), r.violations());
         return r;
     }
 
-    private static long figure(FleetRun.Result r, String name) {
+    private static long figure(LeaseTestRun.Result r, String name) {
         return ((Number) r.figures().get(name)).longValue();
     }
 
@@ -69,8 +70,10 @@
     /** A planned end gives the lease back: the next holder does not wait for the term, which would take 12 s and more. */
     @Test
     void aHolderThatIsToldToEndGivesItsLeaseBack() throws Exception {
-        Plan slow = new Plan(3, 12_000, 5, 150, 100, Map.of(), List.of(Fault.parse(0, "end holder")));
-        FleetRun.Result r = FleetRun.run(slow, new FleetRun.Terms("leases", 1, 1, null, folder), System.out::println);
+        FaultSchedule slow =
+                new FaultSchedule(3, 12_000, 5, 150, 100, Map.of(), List.of(FaultInjection.parse(0, "end holder")));
+        LeaseTestRun.Result r =
+                LeaseTestRun.run(slow, new LeaseTestRun.Terms("leases", 1, 1, null, folder), System.out::println);
         assertEquals(List.of(), r.violations());
         assertTrue(figure(r, "takeovers") == 1 && figure(r, "takeover_ms_p50") < 4_000, r.figures()::toString);
     }
@@ -78,12 +81,12 @@
     /** No lease without a majority; messages are served all the same. */
     @Test
     void withoutAMajorityNothingIsGrantedAndMessagesAreServed() throws Exception {
-        try (Cluster c = new Cluster(plan(1_000), folder, Cluster.Setup.USUAL)) {
+        try (ProcessCluster c = new ProcessCluster(plan(1_000), folder, ProcessCluster.Setup.USUAL)) {
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L));
-            c.befall(Fault.parse(0, "crash n2"));
-            c.befall(Fault.parse(0, "crash n3"));
-            Cluster.pause(1_500); // the longest that a lease which is held can last, and more
-            long granted = Checkers.read(c.histories()).count("granted");
+            c.befall(FaultInjection.parse(0, "crash n2"));
+            c.befall(FaultInjection.parse(0, "crash n3"));
+            ProcessCluster.pause(1_500); // the longest that a lease which is held can last, and more
+            long granted = HistoryCheckers.read(c.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
                 assertEquals(
@@ -91,12 +94,14 @@
                         c.outside().send(c.member("n1").ready(), 1).get(10, java.util.concurrent.TimeUnit.SECONDS));
             }
             assertEquals(
-                    granted, Checkers.read(c.histories()).count("granted"), "nothing was granted without a majority");
+                    granted,
+                    HistoryCheckers.read(c.histories()).count("granted"),
+                    "nothing was granted without a majority");
             assertTrue(c.member("n1").told("FLEET").contains("=not held"));
             assertTrue(c.outside().delivered() > 0);
             c.heal(true);
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L), "held again after the others are back");
-            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
 }
--- a/src/test/java/elderseam/fleet/rig/OneOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -1,15 +1,15 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.acme.AcmeTest;
-import elderseam.acme.Authority;
-import elderseam.acme.Seal;
+import elderseam.acme.SecretSealer;
 import elderseam.core.Clock;
-import elderseam.fleet.lease.OrderDuty;
-import elderseam.http.Io;
+import elderseam.fleet.lease.CertificateOrderTask;
+import elderseam.http.IoLoop;
+import elderseam.testkit.acme.StandInAuthority;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -27,8 +27,8 @@
 
 /** One member orders the certificate for all, on three real processes and the stand-in authority, which asks one of them alone. */
 @ResourceLock("rig two") // each class starts some processes: two classes at a time
-class OneOrderTest {
-    private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
+class LeasedCertificateOrderTest {
+    private static final FaultSchedule PLAN = new FaultSchedule(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
     @TempDir
     Path folder;
@@ -37,8 +37,8 @@
         return System.nanoTime() + seconds * 1_000_000_000L;
     }
 
-    private Cluster.Setup setup(Authority authority, int port, Path key) {
-        return new Cluster.Setup(
+    private ProcessCluster.Setup setup(StandInAuthority authority, int port, Path key) {
+        return new ProcessCluster.Setup(
                 true,
                 name -> "certificates = one\ncertificate_key = " + key
                         + "\n[events]\nlisten = 127.0.0.1:0\n[acme]\ndirectory = "
@@ -50,7 +50,7 @@
                 "");
     }
 
-    private static String holder(Cluster c) throws IOException {
+    private static String holder(ProcessCluster c) throws IOException {
         for (String name : c.group()) {
             if (c.member(name).alive() && c.member(name).told("FLEET").contains("lease.certificate:localhost=held")) {
                 return name;
@@ -69,13 +69,13 @@
     }
 
     /** Waits until all serve one chain that is another than {@code before}. */
-    private String one(Cluster c, String before, long byNs) throws Exception {
+    private String one(ProcessCluster c, String before, long byNs) throws Exception {
         List<String> living =
                 c.group().stream().filter(g -> c.member(g).alive()).toList();
         Set<String> now = chains(living);
         while (now.size() != 1 || now.contains("") || now.contains(before)) {
             assertTrue(System.nanoTime() < byNs, "no one chain on all: " + now.size());
-            Cluster.pause(50); // files tell nobody of a change
+            ProcessCluster.pause(50); // files tell nobody of a change
             now = chains(living);
         }
         return now.iterator().next();
@@ -84,36 +84,36 @@
     @Test
     void oneOrdersRenewsAndAnotherAfterIt() throws Exception {
         int port = AcmeTest.freePort();
-        Authority authority = new Authority(
-                new Io(new Clock()),
+        StandInAuthority authority = new StandInAuthority(
+                new IoLoop(new Clock()),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 port,
                 Duration.ofSeconds(210),
                 Duration.ofSeconds(120)); // renewed from 10 s on, and by everybody for itself only 55 s later
         Path key = folder.resolve("seal");
-        Seal.make(key, new SecureRandom());
-        try (Cluster c = new Cluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
+        SecretSealer.make(key, new SecureRandom());
+        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
             String first = one(c, "", by(60));
             assertEquals(1, authority.ordered(), "one order for three members");
             if (holder(c).equals("n1")) { // the renewal is another's, while the authority goes on asking n1
-                c.befall(Fault.parse(0, "end n1"));
+                c.befall(FaultInjection.parse(0, "end n1"));
                 c.heal(true);
             }
             String second = one(c, first, by(60));
             assertEquals(2, authority.signed(), "one renewal for three members");
             String holder = holder(c);
             if (!holder.equals("n1")) {
-                c.befall(Fault.parse(0, "crash " + holder));
+                c.befall(FaultInjection.parse(0, "crash " + holder));
             }
             one(c, second, by(60));
             assertEquals(3, authority.signed(), "and one by whoever holds the lease after a crash");
-            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
 
     @Test
     void whoOrdersAndWhen() {
-        OrderDuty duty = new OrderDuty(1_000);
+        CertificateOrderTask duty = new CertificateOrderTask(1_000);
         assertTrue(duty.own(0, 10_000, true, false));
         assertTrue(!duty.own(100, 10_000, false, true), "another orders");
         assertTrue(
@@ -129,9 +129,10 @@
     @Test
     void aSealOpensByItsKeyAndForItsMatterAlone() throws Exception {
         SecureRandom random = new SecureRandom();
-        Seal.make(folder.resolve("a"), random);
-        Seal.make(folder.resolve("b"), random);
-        Seal a = Seal.read(folder.resolve("a"), random), b = Seal.read(folder.resolve("b"), random);
+        SecretSealer.make(folder.resolve("a"), random);
+        SecretSealer.make(folder.resolve("b"), random);
+        SecretSealer a = SecretSealer.read(folder.resolve("a"), random),
+                b = SecretSealer.read(folder.resolve("b"), random);
         String text = a.close(new byte[] {1, 2, 3}, "x");
         assertEquals(3, a.open(text, "x").length);
         assertThrows(IOException.class, () -> a.open(text, "y"));
--- a/src/test/java/elderseam/fleet/rig/OneWatchTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,8 +13,8 @@
 
 /** One member watches discovery for all, on three real processes: fewer calls, and news reach everybody over a crash of the one. */
 @ResourceLock("rig two") // each class starts some processes: two classes at a time
-class OneWatchTest {
-    private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
+class LeasedDiscoveryWatchTest {
+    private static final FaultSchedule PLAN = new FaultSchedule(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
     private static final int SECONDS = 3;
 
     @TempDir
@@ -24,19 +24,19 @@
         return System.nanoTime() + seconds * 1_000_000_000L;
     }
 
-    private static long callsIn(Cluster c, int seconds) throws Exception {
+    private static long callsIn(ProcessCluster c, int seconds) throws Exception {
         long before = c.outside().lists();
-        Cluster.pause(seconds * 1_000L); // the span that is measured
+        ProcessCluster.pause(seconds * 1_000L); // the span that is measured
         return c.outside().lists() - before;
     }
 
     /** A new destination's message is taken by each member, once the list that has it has come there. */
-    private static void allLearnOf(Cluster c, int destination) throws Exception {
+    private static void allLearnOf(ProcessCluster c, int destination) throws Exception {
         for (String name : c.group()) {
             long by = by(20);
             while (c.outside().send(c.member(name).ready(), destination).get(10, TimeUnit.SECONDS) != 202) {
                 assertTrue(System.nanoTime() < by, name + " does not know destination " + destination);
-                Cluster.pause(20);
+                ProcessCluster.pause(20);
             }
         }
     }
@@ -44,11 +44,11 @@
     @Test
     void oneWatchesForAllAndAnotherAfterIt() throws Exception {
         long each;
-        try (Cluster c = new Cluster(PLAN, folder.resolve("off"), Cluster.Setup.OFF)) {
+        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ProcessCluster.Setup.OFF)) {
             each = callsIn(c, SECONDS);
         }
-        try (Cluster c =
-                new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "discovery = one\n", true, true))) {
+        try (ProcessCluster c = new ProcessCluster(
+                PLAN, folder.resolve("on"), new ProcessCluster.Setup(true, "discovery = one\n", true, true))) {
             assertTrue(
                     c.say("fleet: ", "another watches discovery", 2, by(20)),
                     "two members leave the watch to the third");
@@ -60,11 +60,11 @@
                             !c.saying("fleet: ", "another watches discovery").contains(g))
                     .findFirst()
                     .orElseThrow();
-            c.befall(Fault.parse(0, "crash " + watcher));
+            c.befall(FaultInjection.parse(0, "crash " + watcher));
             assertTrue(c.say("fleet: ", "watches discovery", 1, by(30)), "one of the others takes the watch over");
             c.heal(true);
             allLearnOf(c, c.outside().grow());
-            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
 }
--- a/src/test/java/elderseam/fleet/rig/OneTrialTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
@@ -1,12 +1,12 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.fleet.lease.TrialDuty;
-import elderseam.fleet.lease.TrialDuty.Standing;
-import elderseam.fleet.lease.TrialDuty.Turn;
+import elderseam.fleet.lease.RecoveryProbeTask;
+import elderseam.fleet.lease.RecoveryProbeTask.Standing;
+import elderseam.fleet.lease.RecoveryProbeTask.Turn;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,15 +18,15 @@
 
 /** One member tries a failing destination for all: the decision, and three real processes with it off and on. */
 @ResourceLock("rig one") // each class starts some processes: two classes at a time
-class OneTrialTest {
-    private static final Plan PLAN = new Plan(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
+class LeasedRecoveryProbeTest {
+    private static final FaultSchedule PLAN = new FaultSchedule(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
     @TempDir
     Path folder;
 
     @Test
     void theOthersLeaveTheTrialToTheHolderUntilItSaysThatItIsBack() {
-        TrialDuty duty = new TrialDuty(2_000, 10_000);
+        RecoveryProbeTask duty = new RecoveryProbeTask(2_000, 10_000);
         assertEquals(new Turn(false, false, false), duty.look(0, Standing.CLOSED, false, false));
         assertEquals(
                 new Turn(true, false, false),
@@ -43,7 +43,7 @@
 
     @Test
     void aHolderTellsOnceAndOneWithNothingToTryGivesUp() {
-        TrialDuty duty = new TrialDuty(2_000, 10_000);
+        RecoveryProbeTask duty = new RecoveryProbeTask(2_000, 10_000);
         duty.look(0, Standing.OPEN, true, false);
         assertEquals(new Turn(false, false, true), duty.look(10, Standing.CLOSED, true, false));
         assertFalse(duty.look(20, Standing.CLOSED, true, false).tells());
@@ -55,7 +55,7 @@
     }
 
     /** Calls that reach the failing partner in a span of an outage, while every member is asked for it all the time. */
-    private static long callsInAnOutage(Cluster c) throws Exception {
+    private static long callsInAnOutage(ProcessCluster c) throws Exception {
         List<String> at = new ArrayList<>();
         for (String name : c.group()) {
             at.add(c.member(name).ready());
@@ -74,27 +74,27 @@
         return calls;
     }
 
-    static void feed(Cluster c, List<String> at, long ms) throws Exception {
+    static void feed(ProcessCluster c, List<String> at, long ms) throws Exception {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until) {
             for (String member : at) {
                 c.outside().send(member, 1).get(10, TimeUnit.SECONDS);
             }
-            Cluster.pause(50); // the traffic's own pace
+            ProcessCluster.pause(50); // the traffic's own pace
         }
     }
 
     @Test
     void oneTriesForAll() throws Exception {
         long each, one;
-        try (Cluster c = new Cluster(PLAN, folder.resolve("off"), Cluster.Setup.OFF)) {
+        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ProcessCluster.Setup.OFF)) {
             each = callsInAnOutage(c);
         }
-        try (Cluster c =
-                new Cluster(PLAN, folder.resolve("on"), new Cluster.Setup(true, "trials = one\n", true, true))) {
+        try (ProcessCluster c = new ProcessCluster(
+                PLAN, folder.resolve("on"), new ProcessCluster.Setup(true, "trials = one\n", true, true))) {
             assertTrue(c.acted(System.nanoTime() + 20_000_000_000L), "the group has a leader");
             one = callsInAnOutage(c);
-            assertEquals(List.of(), Checkers.read(c.histories()).leaseSafety());
+            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
         System.out.println("calls in 12 s of an outage: " + each + " each for itself, " + one + " one for all");
         assertTrue(5 * one <= 3 * each, one + " calls, " + each + " without the fleet");
--- a/src/test/java/elderseam/fleet/rig/NemesisTest.java
+++ b/src/test/java/elderseam/testkit/faults/NemesisTest.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -17,7 +17,8 @@
 
     @Test
     void twentyRoundsWithoutAViolation() throws Exception {
-        FleetRun.Result r = FleetRun.run(new FleetRun.Terms("leases", 20, 11, null, folder), System.out::println);
+        LeaseTestRun.Result r =
+                LeaseTestRun.run(new LeaseTestRun.Terms("leases", 20, 11, null, folder), System.out::println);
         assertEquals(List.of(), r.violations());
         assertTrue(((Number) r.figures().get("takeovers")).longValue() > 0, "some holder was killed: " + r.figures());
     }
@@ -25,10 +26,10 @@
     /** The planted faults on real processes: a store that fences nothing off, and links that stay cut. */
     @Test
     void aStoreWithoutAFenceIsFoundOut() throws Exception {
-        FleetRun.Terms terms = new FleetRun.Terms("leases", 5, 1, "no-fence", folder);
-        List<Fault> stall = List.of(Fault.parse(300, "stall holder 6000"));
-        Plan plan = new Plan(3, 1_200, 5, 150, 6_500, java.util.Map.of(), stall);
-        assertTrue(FleetRun.run(plan, terms, System.out::println).violations().stream()
+        LeaseTestRun.Terms terms = new LeaseTestRun.Terms("leases", 5, 1, "no-fence", folder);
+        List<FaultInjection> stall = List.of(FaultInjection.parse(300, "stall holder 6000"));
+        FaultSchedule plan = new FaultSchedule(3, 1_200, 5, 150, 6_500, java.util.Map.of(), stall);
+        assertTrue(LeaseTestRun.run(plan, terms, System.out::println).violations().stream()
                 .anyMatch(v -> v.startsWith("fencing: ")));
     }
 }
--- a/src/test/java/elderseam/fleet/rig/SharesTest.java
+++ b/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,27 +15,27 @@
 
 /** Choices of eight real processes that add up: even subsets, limits divided by who is there, one trial by turns. Off and on in one run. */
 @ResourceLock("rig two") // each class starts some processes: two classes at a time
-class SharesTest {
+class PartitionProcessTest {
     private static final String SHARES =
             "[shares]\nmembers = gossip\nhold_s = 2\nendpoint_connections = 2\nconnections_each = 1\n";
 
     @TempDir
     Path folder;
 
-    private static Plan plan(int members) {
-        return new Plan(members, 1_200, 5, 150, 1_000, Map.of(), List.of());
+    private static FaultSchedule plan(int members) {
+        return new FaultSchedule(members, 1_200, 5, 150, 1_000, Map.of(), List.of());
     }
 
     private static long by(long seconds) {
         return System.nanoTime() + seconds * 1_000_000_000L;
     }
 
-    private static List<String> living(Cluster c) {
+    private static List<String> living(ProcessCluster c) {
         return c.group().stream().filter(g -> c.member(g).alive()).toList();
     }
 
     /** The most calls at an endpoint over the mean, of so many messages handed in at each member, one after the other. */
-    private static double unevenness(Cluster c, int messages) throws Exception {
+    private static double unevenness(ProcessCluster c, int messages) throws Exception {
         long[] before = c.outside().calls();
         for (int i = 0; i < messages; i++) {
             for (String name : living(c)) {
@@ -47,7 +47,7 @@
         while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum())
                 < (long) messages * living(c).size()) {
             assertTrue(System.nanoTime() < delivered, sum + " calls");
-            Cluster.pause(20); // the calls follow their answers
+            ProcessCluster.pause(20); // the calls follow their answers
             now = c.outside().calls();
         }
         long most = 0;
@@ -60,17 +60,18 @@
     @Test
     void aHerdIsSeenAndSubsetsStayEven() throws Exception {
         double off, on;
-        try (Cluster c = new Cluster(plan(8), folder.resolve("off"), Cluster.Setup.OFF, 4)) {
+        try (ProcessCluster c = new ProcessCluster(plan(8), folder.resolve("off"), ProcessCluster.Setup.OFF, 4)) {
             off = unevenness(c, 20);
         }
-        try (Cluster c = new Cluster(plan(8), folder.resolve("on"), Cluster.Setup.gossiping(SHARES), 4)) {
+        try (ProcessCluster c =
+                new ProcessCluster(plan(8), folder.resolve("on"), ProcessCluster.Setup.gossiping(SHARES), 4)) {
             assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "all see all");
             on = unevenness(c, 20);
             System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off
                     + " each for itself, " + on + " by subsets");
             assertTrue(on < 1.15, on + " by subsets, " + off + " without");
             for (int i = 4; i <= 8; i++) {
-                c.befall(Fault.parse(0, "crash n" + i));
+                c.befall(FaultInjection.parse(0, "crash n" + i));
             }
             long from = System.nanoTime();
             assertTrue(unevenness(c, 5) > 0, "the three that are left deliver all the same");
@@ -82,21 +83,21 @@
         }
     }
 
-    private static long callsInAnOutage(Cluster c) throws Exception {
+    private static long callsInAnOutage(ProcessCluster c) throws Exception {
         List<String> at = new ArrayList<>();
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
         c.outside().fail(true);
-        OneTrialTest.feed(c, at, 4_000);
+        LeasedRecoveryProbeTest.feed(c, at, 4_000);
         long before = c.outside().failed();
-        OneTrialTest.feed(c, at, 8_000);
+        LeasedRecoveryProbeTest.feed(c, at, 8_000);
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
         long delivered = c.outside().delivered(), until = by(20);
         while (c.outside().delivered() < delivered + 40) { // more than one member could deliver in the time alone
             assertTrue(System.nanoTime() < until, "not delivered again after the outage");
-            OneTrialTest.feed(c, at, 200);
+            LeasedRecoveryProbeTest.feed(c, at, 200);
         }
         return calls;
     }
@@ -105,13 +106,16 @@
     @Test
     void oneTriesByTurns() throws Exception {
         long each, one;
-        try (Cluster c = new Cluster(plan(4), folder.resolve("off"), Cluster.Setup.gossiping(""))) {
+        try (ProcessCluster c =
+                new ProcessCluster(plan(4), folder.resolve("off"), ProcessCluster.Setup.gossiping(""))) {
             each = callsInAnOutage(c);
         }
-        try (Cluster c = new Cluster(
-                plan(4), folder.resolve("on"), Cluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
+        try (ProcessCluster c = new ProcessCluster(
+                plan(4),
+                folder.resolve("on"),
+                ProcessCluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
             assertTrue(c.say("shares: ", "4 members, limits are divided by 4", 4, by(30)), "all see all");
-            c.befall(Fault.parse(0, "lose 30"));
+            c.befall(FaultInjection.parse(0, "lose 30"));
             one = callsInAnOutage(c);
         }
         System.out.println("calls in 8 s of an outage: " + each + " each for itself, " + one + " by turns");
--- a/src/test/java/elderseam/fleet/rig/VersionsTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -1,11 +1,11 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.fleet.config.Version;
-import elderseam.fleet.config.VersionFolder;
+import elderseam.fleet.config.ConfigurationVersion;
+import elderseam.fleet.config.VersionStore;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -17,7 +17,7 @@
 
 /** Versions that three real processes agree on, and what befalls them meanwhile. */
 @ResourceLock("rig one") // each class starts some processes: two classes at a time
-class VersionsTest {
+class VersionFaultCasesTest {
     private static final int RATE = 1; // of a rule that refuses nearly all
 
     @TempDir
@@ -27,15 +27,15 @@
         return System.nanoTime() + seconds * 1_000_000_000L;
     }
 
-    private FleetRun.Result play(String plant, int rounds) throws Exception {
-        return FleetRun.run(
-                new FleetRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)),
+    private LeaseTestRun.Result play(String plant, int rounds) throws Exception {
+        return LeaseTestRun.run(
+                new LeaseTestRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)),
                 System.out::println);
     }
 
     @Test
     void noTwoActOnContradictingVersionsUnderANemesis() throws Exception {
-        FleetRun.Result r = play(null, 3);
+        LeaseTestRun.Result r = play(null, 3);
         assertEquals(List.of(), r.violations());
         System.out.println("versions: " + r.figures());
     }
@@ -47,70 +47,76 @@
                 "a member that is cut off acts on the old version without end");
     }
 
-    private Cluster cluster(Map<String, Integer> clocks) throws Exception {
-        Cluster c = new Cluster(
-                new Plan(3, 1_200, 5, 150, 1_000, clocks, List.of()), folder.resolve("c"), VersionRun.setup(null));
-        Proposals.agreed(c, by(30));
+    private ProcessCluster cluster(Map<String, Integer> clocks) throws Exception {
+        ProcessCluster c = new ProcessCluster(
+                new FaultSchedule(3, 1_200, 5, 150, 1_000, clocks, List.of()),
+                folder.resolve("c"),
+                VersionTestRun.setup(null));
+        VersionProposals.agreed(c, by(30));
         return c;
     }
 
-    private static String value(Cluster c, String member, String name) throws Exception {
-        return Proposals.value(c, member, name);
+    private static String value(ProcessCluster c, String member, String name) throws Exception {
+        return VersionProposals.value(c, member, name);
     }
 
-    private static int send(Cluster c, String member) throws Exception {
+    private static int send(ProcessCluster c, String member) throws Exception {
         return c.outside().send(c.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
     }
 
     /** Proposes, and waits until all act on it. */
-    private static void adopted(Cluster c, String at, Path file) throws Exception {
-        String hash = Proposals.propose(c, at, file, "a test's");
+    private static void adopted(ProcessCluster c, String at, Path file) throws Exception {
+        String hash = VersionProposals.propose(c, at, file, "a test's");
         assertFalse(hash.isEmpty());
         long until = by(30);
-        while (!Proposals.agreed(c, until).equals(hash)) {
+        while (!VersionProposals.agreed(c, until).equals(hash)) {
             assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).told("CONFIG"));
-            Cluster.pause(20);
+            ProcessCluster.pause(20);
         }
     }
 
     /** The side that is cut off refuses new work from T on, and the others act on the newer version; afterwards all do. */
     @Test
     void theSideThatIsCutOffGoesIntoDoubtAndARestartFromAnOldFolderDoesNotActOnIt() throws Exception {
-        try (Cluster c = cluster(Map.of("n1", 105))) {
-            adopted(c, "n2", VersionRun.write(c, 0));
+        try (ProcessCluster c = cluster(Map.of("n1", 105))) {
+            adopted(c, "n2", VersionTestRun.write(c, 0));
             assertEquals(202, send(c, "n1"));
-            c.befall(Fault.parse(0, "isolate n1"));
+            c.befall(FaultInjection.parse(0, "isolate n1"));
             assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
-            assertFalse(Proposals.propose(c, "n2", VersionRun.write(c, 1), "without n1")
+            assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.write(c, 1), "without n1")
                     .isEmpty());
             while (!value(c, "n2", "acting").startsWith("2 ")
                     || !value(c, "n3", "acting").startsWith("2 ")) {
-                Cluster.pause(20); // the group's own word is asked for
+                ProcessCluster.pause(20); // the group's own word is asked for
             }
             assertEquals(202, send(c, "n2"), "the side with the majority serves");
             assertTrue(value(c, "n1", "acting").startsWith("1 ")
                     && value(c, "n1", "doubt").equals("yes"));
-            c.befall(Fault.parse(0, "crash n1"));
-            c.befall(Fault.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
+            c.befall(FaultInjection.parse(0, "crash n1"));
+            c.befall(
+                    FaultInjection.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
             assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
             c.heal(true);
-            Proposals.agreed(c, by(30));
+            VersionProposals.agreed(c, by(30));
             assertTrue(value(c, "n1", "acting").startsWith("2 "));
             assertEquals(202, send(c, "n1"));
             assertEquals(
                     List.of(),
-                    Checkers.read(c.histories())
-                            .agreement(VersionRun.BOUND_MS + VersionRun.CLOCK_MS, VersionRun.STEP_MS));
+                    HistoryCheckers.read(c.histories())
+                            .agreement(VersionTestRun.BOUND_MS + VersionTestRun.CLOCK_MS, VersionTestRun.STEP_MS));
         }
-        List<Version> kept = new VersionFolder(folder.resolve("c/n1/state/versions")).all();
-        assertEquals(List.of(1L, 2L), kept.stream().map(Version::number).toList(), "what a folder tells offline");
+        List<ConfigurationVersion> kept = new VersionStore(folder.resolve("c/n1/state/versions")).all();
+        assertEquals(
+                List.of(1L, 2L),
+                kept.stream().map(ConfigurationVersion::number).toList(),
+                "what a folder tells offline");
     }
 
     /** Two proposals at once, one that a member can't use, and the way back. */
     @Test
     void oneProposalWinsOneThatFailsAnywhereIsRefusedForAllAndARollbackIsANewVersion() throws Exception {
-        try (Cluster c = cluster(Map.of())) {
+        try (ProcessCluster c = cluster(Map.of())) {
             Path strict = c.folder().resolve("strict");
             Files.createDirectories(strict);
             Files.writeString(
@@ -118,12 +124,12 @@
                     "[limit few]\nrate_per_s = " + RATE
                             + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
             Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
-            String one = Proposals.propose(c, "n1", few, "one"),
-                    two = Proposals.propose(c, "n2", VersionRun.write(c, 7), "two");
+            String one = VersionProposals.propose(c, "n1", few, "one"),
+                    two = VersionProposals.propose(c, "n2", VersionTestRun.write(c, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
-            String won = Proposals.agreed(c, by(30));
-            while (won.equals(Version.NONE.hash().substring(0, 12))) {
-                won = Proposals.agreed(c, by(30));
+            String won = VersionProposals.agreed(c, by(30));
+            while (won.equals(ConfigurationVersion.NONE.hash().substring(0, 12))) {
+                won = VersionProposals.agreed(c, by(30));
             }
             assertTrue(won.equals(one) ^ won.equals(two), "one of them");
             assertEquals("1", value(c, "n3", "latest").split(" ")[0], "and the other is not the next");
@@ -133,9 +139,10 @@
             Path mine = Files.writeString(
                     Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"),
                     "[rules]\nfiles = " + there + "\n");
-            assertFalse(Proposals.propose(c, "n1", mine, "a file of n1's own").isEmpty());
+            assertFalse(VersionProposals.propose(c, "n1", mine, "a file of n1's own")
+                    .isEmpty());
             while (!value(c, "n1", "ended").contains("refused: ")) {
-                Cluster.pause(20);
+                ProcessCluster.pause(20);
             }
             assertTrue(
                     value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"),
@@ -145,8 +152,9 @@
             String back = c.member("n2").told("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
             while (!value(c, "n3", "acting").startsWith("3 ")
-                    || !Proposals.agreed(c, by(30)).equals(Version.NONE.hash().substring(0, 12))) {
-                Cluster.pause(20);
+                    || !VersionProposals.agreed(c, by(30))
+                            .equals(ConfigurationVersion.NONE.hash().substring(0, 12))) {
+                ProcessCluster.pause(20);
             }
             assertTrue(c.member("n3").told("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
         }
@@ -155,8 +163,8 @@
     /** The move of discovery, as a version: all ask the new place, and none the old one any more. */
     @Test
     void discoveryMovesByAVersion() throws Exception {
-        Outside other = new Outside(3, 1);
-        try (Cluster c = cluster(Map.of())) {
+        ExternalServices other = new ExternalServices(3, 1);
+        try (ProcessCluster c = cluster(Map.of())) {
             Path file = Files.writeString(
                     Files.createDirectories(c.folder().resolve("move")).resolve("version.ini"),
                     "[discovery]\naddress = " + other.address() + "\n");
@@ -164,11 +172,11 @@
             long until = by(20);
             while (other.lists() < 3) {
                 assertTrue(System.nanoTime() < until, other.lists() + " calls at the new place");
-                Cluster.pause(20);
+                ProcessCluster.pause(20);
             }
-            Cluster.pause(1_500); // the last watch at the old place has been answered
+            ProcessCluster.pause(1_500); // the last watch at the old place has been answered
             long old = c.outside().lists();
-            Cluster.pause(1_500);
+            ProcessCluster.pause(1_500);
             assertEquals(old, c.outside().lists(), "nobody asks the old place");
         }
     }
--- a/src/test/java/elderseam/lab/LabTest.java
+++ b/src/test/java/elderseam/testkit/lab/LabTest.java
@@ -1,13 +1,13 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.emulator.Plan;
-import elderseam.emulator.PlanFile;
 import elderseam.settings.SettingsFault;
+import elderseam.testkit.emulator.Scenario;
+import elderseam.testkit.emulator.ScenarioFile;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -38,9 +38,9 @@
     /** Cut off in the middle, torn at its end, and begun anew: each run is there once, and its figures are what they were. */
     @Test
     void aSweepGoesOnWhereItWas() throws Exception {
-        Sweep sweep = new Sweep("small", SMALL, folder.resolve("s"));
-        List<Sweep.Cell> cells =
-                Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "fail")), List.of("module", "robin"), 1, 2);
+        ParameterSweep sweep = new ParameterSweep("small", SMALL, folder.resolve("s"));
+        List<ParameterSweep.Cell> cells = ParameterSweep.cells(
+                Map.of("trouble.t.fault", List.of("hang", "fail")), List.of("module", "robin"), 1, 2);
         assertEquals(8, cells.size());
         int[] last = new int[2];
         assertEquals(8, sweep.run(cells, 4, (done, all) -> {
@@ -59,9 +59,9 @@
         assertEquals(0, sweep.run(cells, 1, (done, all) -> {}));
         assertThrows(
                 IOException.class,
-                () -> new Sweep("other", List.of("[kind k]"), folder.resolve("s"))
+                () -> new ParameterSweep("other", List.of("[kind k]"), folder.resolve("s"))
                         .run(List.of(), 1, (done, all) -> {}));
-        String csv = Table.csv(Table.read(file));
+        String csv = RunTable.csv(RunTable.read(file));
         assertTrue(
                 csv.startsWith("cell,trouble.t.fault,policy,seed,service,")
                         && csv.lines().count() == 9,
@@ -71,17 +71,20 @@
     /** A value of the grid that can't be is told before any run. */
     @Test
     void aGridIsCheckedWhole() {
-        Sweep sweep = new Sweep("small", SMALL, folder.resolve("t"));
+        ParameterSweep sweep = new ParameterSweep("small", SMALL, folder.resolve("t"));
         assertThrows(
                 SettingsFault.class,
                 () -> sweep.run(
-                        Sweep.cells(Map.of("trouble.t.fault", List.of("hang", "odd")), List.of("module"), 1, 1),
+                        ParameterSweep.cells(
+                                Map.of("trouble.t.fault", List.of("hang", "odd")), List.of("module"), 1, 1),
                         1,
                         (d, a) -> {}));
         assertThrows(
                 SettingsFault.class,
                 () -> sweep.run(
-                        Sweep.cells(Map.of("trouble.u.at", List.of("1")), List.of("module"), 1, 1), 1, (d, a) -> {}));
+                        ParameterSweep.cells(Map.of("trouble.u.at", List.of("1")), List.of("module"), 1, 1),
+                        1,
+                        (d, a) -> {}));
         assertFalse(Files.exists(folder.resolve("t/runs.jsonl")));
     }
 
@@ -95,7 +98,7 @@
             same[i] = a[i] + 0.1 * r.nextGaussian();
             more[i] = a[i] + 0.1 + 0.1 * r.nextGaussian();
         }
-        Compare none = Compare.of(a, same), some = Compare.of(a, more);
+        PairedComparison none = PairedComparison.of(a, same), some = PairedComparison.of(a, more);
         assertTrue(none.noise() && none.low() < 0 && none.high() > 0, none.words());
         assertTrue(
                 !some.noise()
@@ -103,9 +106,9 @@
                         && some.high() < 0.17
                         && some.words().endsWith("more"),
                 some.words());
-        assertEquals(some, Compare.of(a, more), "its resamples have a seed of their own");
-        assertTrue(Compare.of(new double[] {0, 0}, new double[] {1, 1}).noise());
-        assertThrows(IllegalArgumentException.class, () -> Compare.of(a, new double[2]));
+        assertEquals(some, PairedComparison.of(a, more), "its resamples have a seed of their own");
+        assertTrue(PairedComparison.of(new double[] {0, 0}, new double[] {1, 1}).noise());
+        assertThrows(IllegalArgumentException.class, () -> PairedComparison.of(a, new double[2]));
     }
 
     /** How often the interval of two samples of one kind misses 0: about one in twenty. */
@@ -115,7 +118,7 @@
         int missed = 0;
         for (int n = 0; n < 200; n++) {
             double[] a = r.doubles(25).toArray(), b = r.doubles(25).toArray();
-            missed += Compare.of(a, b).noise() ? 0 : 1;
+            missed += PairedComparison.of(a, b).noise() ? 0 : 1;
         }
         assertTrue(missed >= 3 && missed <= 24, missed + " of 200");
     }
@@ -124,17 +127,17 @@
     @Test
     void aWorstDayIsFoundAndShrunk() throws Exception {
         List<String> calm = SMALL.subList(0, 7);
-        Find.Found f = new Find("small", calm, "robin", "oracle", 1, words -> {}).search(60);
+        WorstDaySearch.Found f = new WorstDaySearch("small", calm, "robin", "oracle", 1, words -> {}).search(60);
         assertTrue(f.gap() > 0.1 && f.played() <= 62, f.toString());
-        Plan plan = PlanFile.of("found", f.scenario(), Map.of());
+        Scenario plan = ScenarioFile.of("found", f.scenario(), Map.of());
         assertTrue(
                 plan.troubles().size() + plan.floods().size() + plan.restarts().size() > 0);
-        double robin = Run.of(plan, "robin", 1, s -> {}).figures().get("service"),
-                oracle = Run.of(plan, "oracle", 1, s -> {}).figures().get("service");
+        double robin = ExperimentRun.of(plan, "robin", 1, s -> {}).figures().get("service"),
+                oracle = ExperimentRun.of(plan, "oracle", 1, s -> {}).figures().get("service");
         assertEquals(f.gap(), oracle - robin, 1e-9);
         assertEquals(
                 f.scenario(),
-                new Find("small", calm, "robin", "oracle", 1, words -> {})
+                new WorstDaySearch("small", calm, "robin", "oracle", 1, words -> {})
                         .search(60)
                         .scenario());
     }
@@ -142,8 +145,10 @@
     /** One page that needs nothing else, with what was done to the world on it. */
     @Test
     void theReportStandsAlone() throws Exception {
-        Plan plan = PlanFile.of("small", SMALL, Map.of());
-        String page = Report.page(plan, List.of(Run.of(plan, "module", 1, s -> {}), Run.of(plan, "robin", 1, s -> {})));
+        Scenario plan = ScenarioFile.of("small", SMALL, Map.of());
+        String page = HtmlReport.page(
+                plan,
+                List.of(ExperimentRun.of(plan, "module", 1, s -> {}), ExperimentRun.of(plan, "robin", 1, s -> {})));
         assertTrue(page.startsWith("<!doctype html>") && page.endsWith("</body></html>\n"));
         assertTrue(page.contains("data:image/png;base64,")
                 && page.contains("bank hang")
--- a/src/test/java/elderseam/sim/HostTest.java
+++ b/src/test/java/elderseam/testkit/simulator/SimulatorHostTest.java
@@ -1,4 +1,4 @@
-package elderseam.sim;
+package elderseam.testkit.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
-class HostTest {
+class SimulatorHostTest {
     private static final String START = "TURN 1000 1\nENLIST courier/0 5 extra.callSlots=4 limits.mostHeld=50 "
             + "limits.maxAttempts=3 services.count=1 services.0.effect=repeatable services.0.targetNs=1000000000 "
             + "services.0.giveUpNs=5000000000 replicasOfMe=1 some.other=key flavors=x\n"
@@ -19,7 +19,7 @@
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
     private String run(String input) throws IOException {
-        new Host(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+        new SimulatorHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
         return out.toString(StandardCharsets.UTF_8);
     }
 
