A member that steps down answers on: the engine's deadlock is kept out

It takes a leader that is asked for a vote after it has lost its majority while a follower's answer arrives: a heal.

Change: LeaseRpc, Netty as before, gives each appender a division that is another object, so another monitor; what the appender does in it is to read the term and to queue an event for the leader's own thread. The bytes on the wire and in the log are the same.

Measured: LeaseRpcTest (the engine's own appender waits while the server is held, LeaseRpc's ends) and LeaseGroupTest green.

--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -27,7 +27,6 @@
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
-import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.RaftServer;
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
@@ -153,7 +152,7 @@
 
     private static RaftProperties properties(long electionMs, long snapshotEvery) {
         RaftProperties properties = new RaftProperties();
-        RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.NETTY);
+        RaftConfigKeys.Rpc.setType(properties, new LeaseRpc());
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Rpc.setTimeoutMax(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
         // One that has lost its lead for want of answers lets others stand first, by the engine's default for 10 s: where the others were
--- /dev/null
+++ b/src/main/java/elderseam/fleet/lease/LeaseRpc.java
@@ -0,0 +1,146 @@
+package elderseam.fleet.lease;
+
+import java.util.Collection;
+import org.apache.ratis.conf.Parameters;
+import org.apache.ratis.netty.NettyFactory;
+import org.apache.ratis.proto.RaftProtos.CommitInfoProto;
+import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupMemberId;
+import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.rpc.RpcFactory;
+import org.apache.ratis.rpc.RpcType;
+import org.apache.ratis.server.DataStreamMap;
+import org.apache.ratis.server.DivisionInfo;
+import org.apache.ratis.server.DivisionProperties;
+import org.apache.ratis.server.RaftConfiguration;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RetryCache;
+import org.apache.ratis.server.leader.FollowerInfo;
+import org.apache.ratis.server.leader.LeaderState;
+import org.apache.ratis.server.leader.LogAppender;
+import org.apache.ratis.server.metrics.RaftServerMetrics;
+import org.apache.ratis.server.raftlog.RaftLog;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachine;
+
+/**
+ * Apache Ratis over Netty, without a deadlock of Ratis 3.1.3. A leader that receives a vote request and finds that it has lost its
+ * majority steps down while it holds the server's monitor, and waits there, without a limit, for its log appenders to end
+ * ({@code RaftServerImpl.requestVote}, {@code LeaderStateImpl.stepDown}). An appender that has just been answered by a follower of a
+ * higher term enters the same monitor ({@link LogAppender#onFollowerTerm}), so neither goes on, and the member answers no other
+ * member until it is restarted. Here each appender enters a monitor of its own instead. It needs no other: what it does there is to
+ * read the term and to queue an event, which the leader's own thread handles under the server's monitor.
+ *
+ * <p>Ratis makes an instance by the class name in its properties, so the class and its constructor are public.
+ */
+public final class LeaseRpc implements RpcType {
+    @Override
+    public String name() {
+        return LeaseRpc.class.getName();
+    }
+
+    @Override
+    public RpcFactory newFactory(Parameters parameters) {
+        return new Factory(parameters);
+    }
+
+    private static final class Factory extends NettyFactory {
+        Factory(Parameters parameters) {
+            super(parameters);
+        }
+
+        @Override
+        public LogAppender newLogAppender(RaftServer.Division server, LeaderState state, FollowerInfo follower) {
+            return LogAppender.newLogAppenderDefault(new OwnMonitor(server), state, follower);
+        }
+    }
+
+    /** The same division as another object, and so with another monitor. */
+    private record OwnMonitor(RaftServer.Division division) implements RaftServer.Division {
+        @Override
+        public DivisionProperties properties() {
+            return division.properties();
+        }
+
+        @Override
+        public RaftGroupMemberId getMemberId() {
+            return division.getMemberId();
+        }
+
+        @Override
+        public RaftPeerId getId() {
+            return division.getId();
+        }
+
+        @Override
+        public RaftPeer getPeer() {
+            return division.getPeer();
+        }
+
+        @Override
+        public DivisionInfo getInfo() {
+            return division.getInfo();
+        }
+
+        @Override
+        public RaftGroup getGroup() {
+            return division.getGroup();
+        }
+
+        @Override
+        public RaftConfiguration getRaftConf() {
+            return division.getRaftConf();
+        }
+
+        @Override
+        public RaftServer getRaftServer() {
+            return division.getRaftServer();
+        }
+
+        @Override
+        public RaftServerMetrics getRaftServerMetrics() {
+            return division.getRaftServerMetrics();
+        }
+
+        @Override
+        public StateMachine getStateMachine() {
+            return division.getStateMachine();
+        }
+
+        @Override
+        public RaftLog getRaftLog() {
+            return division.getRaftLog();
+        }
+
+        @Override
+        public RaftStorage getRaftStorage() {
+            return division.getRaftStorage();
+        }
+
+        @Override
+        public Collection<CommitInfoProto> getCommitInfos() {
+            return division.getCommitInfos();
+        }
+
+        @Override
+        public RetryCache getRetryCache() {
+            return division.getRetryCache();
+        }
+
+        @Override
+        public DataStreamMap getDataStreamMap() {
+            return division.getDataStreamMap();
+        }
+
+        @Override
+        public ThreadGroup getThreadGroup() {
+            return division.getThreadGroup();
+        }
+
+        @Override
+        public void close() {
+            division.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/lease/LeaseRpcTest.java
@@ -0,0 +1,64 @@
+package elderseam.fleet.lease;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.ratis.conf.Parameters;
+import org.apache.ratis.conf.RaftProperties;
+import org.apache.ratis.rpc.RpcType;
+import org.apache.ratis.rpc.SupportedRpcType;
+import org.apache.ratis.server.DivisionInfo;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.ServerFactory;
+import org.apache.ratis.server.leader.FollowerInfo;
+import org.apache.ratis.server.leader.LeaderState;
+import org.apache.ratis.server.leader.LogAppender;
+import org.junit.jupiter.api.Test;
+
+/** A leader that steps down holds the server's monitor and waits for its log appenders, so none of them may wait for that monitor. */
+class LeaseRpcTest {
+    private static final long HIGHER_TERM = 7;
+
+    /** Each method gives the one of {@code answers} that fits, else false or nothing. */
+    private static <T> T stub(Class<T> type, Object... answers) {
+        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (self, method, arguments) -> {
+            for (Object answer : answers) {
+                if (method.getReturnType().isInstance(answer)) {
+                    return answer;
+                }
+            }
+            return method.getReturnType() == boolean.class ? false : null;
+        }));
+    }
+
+    private static boolean endsWhileTheServerIsHeld(RpcType rpc) throws Exception {
+        RaftServer server = stub(RaftServer.class, new RaftProperties());
+        RaftServer.Division division = stub(RaftServer.Division.class, server, stub(DivisionInfo.class));
+        LogAppender appender = ((ServerFactory) rpc.newFactory(new Parameters()))
+                .newLogAppender(division, stub(LeaderState.class), stub(FollowerInfo.class, "follower"));
+        synchronized (division) {
+            CompletableFuture<Boolean> answered = CompletableFuture.supplyAsync(() -> appender.onFollowerTerm(HIGHER_TERM));
+            try {
+                answered.get(2, TimeUnit.SECONDS);
+                return true;
+            } catch (TimeoutException e) {
+                return false;
+            }
+        }
+    }
+
+    @Test
+    void anAppenderThatHearsOfAHigherTermEndsWhileTheServerIsHeld() throws Exception {
+        assertTrue(endsWhileTheServerIsHeld(RpcType.valueOf(new LeaseRpc().name())));
+    }
+
+    /** What {@link LeaseRpc} is there for: with a release of the engine where this fails, it can go. */
+    @Test
+    void theEnginesOwnAppenderWaitsForTheServer() throws Exception {
+        assertFalse(endsWhileTheServerIsHeld(SupportedRpcType.NETTY));
+    }
+}
