A heartbeat's answer shows no more than it proves: a member that led is caught up again

Its log ended with entries 97 and 98 of term 3, which it had taken in as a leader without a majority; the others had 97 of term 4. The new leader's appender to it was busy all the time (4.1 s of processor time in 28 s), and so was the thread that answers there.

Cause, by the engine's bytecode (3.1.3): a follower answers a heartbeat with the next index of its whole log (RaftServerImpl, appendEntriesAsync), and LogAppenderDefault, which Netty uses, takes all before it for matched (handleReply). With 98 as matched, getNextIndexForInconsistency goes between 98 and 99, and the member refuses both. The leader could also count such entries for a majority.

Change: LeaseServerRpc stands before Netty's calls between servers and cuts the answer to a heartbeat to the entry that it names; one that names none is taken as refused. LeaseRpc makes it.

--- a/src/main/java/elderseam/fleet/lease/LeaseRpc.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRpc.java
@@ -1,9 +1,13 @@
 package elderseam.fleet.lease;
 
 import java.util.Collection;
+import org.apache.ratis.client.ClientFactory;
+import org.apache.ratis.client.RaftClientRpc;
 import org.apache.ratis.conf.Parameters;
+import org.apache.ratis.conf.RaftProperties;
 import org.apache.ratis.netty.NettyFactory;
 import org.apache.ratis.proto.RaftProtos.CommitInfoProto;
+import org.apache.ratis.protocol.ClientId;
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupMemberId;
 import org.apache.ratis.protocol.RaftPeer;
@@ -15,7 +19,9 @@
 import org.apache.ratis.server.DivisionProperties;
 import org.apache.ratis.server.RaftConfiguration;
 import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.RaftServerRpc;
 import org.apache.ratis.server.RetryCache;
+import org.apache.ratis.server.ServerFactory;
 import org.apache.ratis.server.leader.FollowerInfo;
 import org.apache.ratis.server.leader.LeaderState;
 import org.apache.ratis.server.leader.LogAppender;
@@ -32,6 +38,8 @@
  * member until it is restarted. Here each appender enters a monitor of its own instead. It needs no other: what it does there is to
  * read the term and to queue an event, which the leader's own thread handles under the server's monitor.
  *
+ * <p>The answers between servers are set right by {@link LeaseServerRpc}.
+ *
  * <p>Ratis makes an instance by the class name in its properties, so the class and its constructor are public.
  */
 public final class LeaseRpc implements RpcType {
@@ -42,12 +50,23 @@
 
     @Override
     public RpcFactory newFactory(Parameters parameters) {
-        return new Factory(parameters);
+        return new Factory(new NettyFactory(parameters));
     }
 
-    private static final class Factory extends NettyFactory {
-        Factory(Parameters parameters) {
-            super(parameters);
+    private record Factory(NettyFactory netty) implements ServerFactory, ClientFactory {
+        @Override
+        public RpcType getRpcType() {
+            return netty.getRpcType();
+        }
+
+        @Override
+        public RaftServerRpc newRaftServerRpc(RaftServer server) {
+            return new LeaseServerRpc(netty.newRaftServerRpc(server));
+        }
+
+        @Override
+        public RaftClientRpc newRaftClientRpc(ClientId id, RaftProperties properties) {
+            return netty.newRaftClientRpc(id, properties);
         }
 
         @Override
--- a/src/test/java/elderseam/fleet/lease/LeaseRpcTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseRpcTest.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.lease;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,11 @@
 import java.util.concurrent.TimeoutException;
 import org.apache.ratis.conf.Parameters;
 import org.apache.ratis.conf.RaftProperties;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesReplyProto.AppendResult;
+import org.apache.ratis.proto.RaftProtos.AppendEntriesRequestProto;
+import org.apache.ratis.proto.RaftProtos.LogEntryProto;
+import org.apache.ratis.proto.RaftProtos.TermIndexProto;
 import org.apache.ratis.rpc.RpcType;
 import org.apache.ratis.rpc.SupportedRpcType;
 import org.apache.ratis.server.DivisionInfo;
@@ -61,4 +67,27 @@
     void theEnginesOwnAppenderWaitsForTheServer() throws Exception {
         assertFalse(endsWhileTheServerIsHeld(SupportedRpcType.NETTY));
     }
+
+    private static AppendEntriesRequestProto request(int entries) {
+        AppendEntriesRequestProto.Builder request = AppendEntriesRequestProto.newBuilder().setPreviousLog(TermIndexProto.newBuilder().setTerm(3).setIndex(96));
+        for (int i = 0; i < entries; i++) {
+            request.addEntries(LogEntryProto.getDefaultInstance());
+        }
+        return request.build();
+    }
+
+    private static AppendEntriesReplyProto reply(AppendResult result, long next) {
+        return AppendEntriesReplyProto.newBuilder().setResult(result).setNextIndex(next).build();
+    }
+
+    /** A member that led before has entries 97 and 98 of its own; a heartbeat after 96 says nothing of them. */
+    @Test
+    void aHeartbeatShowsNoEntryAsMatchedBehindTheOneItNames() {
+        assertEquals(97, LeaseServerRpc.proven(request(0), reply(AppendResult.SUCCESS, 99)).getNextIndex());
+        assertEquals(97, LeaseServerRpc.proven(request(0), reply(AppendResult.SUCCESS, 97)).getNextIndex());
+        assertEquals(99, LeaseServerRpc.proven(request(2), reply(AppendResult.SUCCESS, 99)).getNextIndex(), "entries that were appended are matched");
+        assertEquals(99, LeaseServerRpc.proven(request(0), reply(AppendResult.INCONSISTENCY, 99)).getNextIndex(), "a refusal says where to go on");
+        assertEquals(reply(AppendResult.INCONSISTENCY, 0), LeaseServerRpc.proven(AppendEntriesRequestProto.getDefaultInstance(), reply(AppendResult.SUCCESS, 5)),
+                "one that names none shows nothing");
+    }
 }
