--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -45,7 +45,7 @@
         this.servers = servers;
         this.order = order;
         this.front = new EventFrontend(io.clock, relay, config.settings(), events, rulings);
-        relay.front(EventFrontend.NUMBER, front, new EventAttemptSender(upstream, hosts::host));
+        relay.registerFrontend(EventFrontend.NUMBER, front, new EventAttemptSender(upstream, hosts::host));
     }
 
     /** Connections of clients that this front takes of all. */
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -9,6 +9,7 @@
 import elderseam.core.Journal;
 import elderseam.core.JsonValue;
 import elderseam.core.Lifecycle;
+import elderseam.core.PolicySnapshots;
 import elderseam.core.RequestDispatcher;
 import elderseam.core.SkewedClock;
 import elderseam.frontend.cloudevents.EventConfiguration;
@@ -90,7 +91,8 @@
         OwnershipAcquisition.Won won = OwnershipAcquisition.seek(io, config);
         Journal journal = new Journal(
                 config.state(),
-                config.limits().diskBytes() - Handover.aside(config.limits().diskBytes()),
+                config.limits().diskBytes()
+                        - PolicySnapshots.reservedBytes(config.limits().diskBytes()),
                 clock);
         io.run(() -> {
             try {
@@ -109,7 +111,7 @@
     /** The system's, but for a rehearsal that bends it. */
     private static Clock clock(Settings s) {
         long percent = s.get(SettingKeys.REHEARSAL_CLOCK_PERCENT), ahead = s.get(SettingKeys.REHEARSAL_CLOCK_AHEAD_MS);
-        return percent == 100 && ahead == 0 ? new Clock() : SkewedClock.bent(percent / 100.0, ahead);
+        return percent == 100 && ahead == 0 ? new Clock() : SkewedClock.of(percent / 100.0, ahead);
     }
 
     /** The listening socket that the platform holds and every process of the dispatcher is given, or null. */
@@ -153,21 +155,23 @@
         upstream = new EndpointConnectionPool(io, idleNs, limits.upstream(), PlatformFrontend.MOST_BODY);
         EndpointConnectionPool platform = new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MOST_LIST);
         relay = new RequestDispatcher(module, config.seed(), journal, io.clock, io);
-        io.onAway(relay::away);
+        io.onAway(relay::eventLoopStalled);
         rereading =
                 new LiveConfiguration(new LiveConfiguration.Ties(io, relay, journal), config, settings, settingsFile);
         EndpointAddress asked = rereading.discovery(settings);
         front = new PlatformFrontend(io, platform, asked, relay, config.settings(), rereading.rules(), life);
-        relay.front(PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, upstream, hosts, config.settings()));
+        relay.registerFrontend(
+                PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, upstream, hosts, config.settings()));
         discovery = new DiscoveryWatcher(io, platform, asked, hosts, relay);
-        relay.onWatch(discovery::watch);
+        relay.onWatchRequested(discovery::watch);
         LeasedCertificateOrder order =
                 settings.get(SettingKeys.FLEET_CERTIFICATES).equals("one")
                         ? new LeasedCertificateOrder(settings)
                         : null;
         CloudEventsSetup second = null;
         int eventClients = 0;
-        if (!events.listen().isEmpty() || journal.owes(EventFrontend.NUMBER)) { // else none of its classes is loaded
+        if (!events.listen().isEmpty()
+                || journal.hasWorkFor(EventFrontend.NUMBER)) { // else none of its classes is loaded
             second =
                     new CloudEventsSetup(io, config, events, relay, upstream, hosts, servers, rereading.rules(), order);
             eventClients = second.clients();
@@ -206,7 +210,7 @@
     private void begin(Map<String, String> variables) throws IOException {
         if (won.given() == null) {
             if (remembers()) {
-                relay.handover().remember();
+                relay.snapshots().restoreAndSave();
             }
             discovery.known(config.known());
             relay.recover(
@@ -219,10 +223,11 @@
         } else {
             takeOver(won.given());
             if (remembers()) {
-                relay.handover().keepOn();
+                relay.snapshots().save();
             }
         }
-        System.err.println("serving on " + servers.get(0).address() + ", " + relay.held() + " messages taken back");
+        System.err.println(
+                "serving on " + servers.get(0).address() + ", " + relay.requestsInFlight() + " messages taken back");
         if (control != null) {
             OperatorCommands operators = new OperatorCommands(
                     relay,
@@ -250,11 +255,11 @@
     /** Whether what is learned outlasts the process. */
     private boolean remembers() {
         return settings.get(SettingKeys.STATE_LEARNED).equals("kept")
-                && Handover.aside(config.limits().diskBytes()) > 0;
+                && PolicySnapshots.reservedBytes(config.limits().diskBytes()) > 0;
     }
 
     private void ready() {
-        life.started();
+        life.markStarted();
         System.err.println("ready after " + (io.clock.now() - born) / Clock.MS + " ms, away for "
                 + io.longestAway() / Clock.MS + " ms at most");
         if (control != null) {
@@ -266,21 +271,22 @@
     private void takeOver(HandoverFrame.Give given) throws IOException {
         HandoverChannel link = won.link();
         upstream.most(config.limits().upstream() / 2); // descriptors are counted for both processes
-        relay.handover().takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.id(), o.attempt())));
+        relay.handover()
+                .takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.requestId(), o.attempt())));
         discovery.takenOver(JsonValue.read(given.list().getBytes(StandardCharsets.UTF_8)));
-        if (given.drains() && life.drain()) {
+        if (given.drains() && life.beginDrain()) {
             lameDuck();
         }
         link.send(new HandoverFrame.Owned());
         link.reading(
                 frame -> {
                     if (frame instanceof HandoverFrame.Ended e) {
-                        io.run(() -> relay.handover().passed(e.passed()));
+                        io.run(() -> relay.handover().outcomeForwarded(e.passed()));
                     }
                 },
                 () -> io.run(() -> {
                     upstream.most(config.limits().upstream());
-                    relay.handover().unheard();
+                    relay.handover().predecessorGone();
                 }));
         relay.recover(front::owed, this::ready);
     }
@@ -288,18 +294,18 @@
     // ---------------------------------------------------------------- passing on, as Succession asks
 
     @Override
-    public HandoverFrame.Give give(Consumer<Handover.Passed> told) {
+    public HandoverFrame.Give give(Consumer<Handover.ForwardedOutcome> told) {
         servers.forEach(HttpServer::stopAccepting);
         passing = new SuccessorProxy(io, servers.get(0).address());
         discovery.passOn();
         front.passOn(true);
         upstream.closeIdle();
         neighbours.leave();
-        return new HandoverFrame.Give(discovery.list(), relay.handover().passOn(told), life.drains());
+        return new HandoverFrame.Give(discovery.list(), relay.handover().transferTo(told), life.isDraining());
     }
 
     @Override
-    public void resume(List<Handover.Passed> heard) {
+    public void resume(List<Handover.ForwardedOutcome> heard) {
         try {
             for (HttpServer s : servers) {
                 s.accept();
@@ -311,7 +317,7 @@
         }
         SuccessorProxy back = passing;
         passing = null;
-        relay.handover().keep(heard);
+        relay.handover().takeBack(heard);
         front.passOn(false);
         discovery.resume();
         back.back(front::handle);
@@ -319,7 +325,7 @@
 
     @Override
     public void leave() {
-        life.end();
+        life.beginEnd();
         servers.forEach(s -> s.closing(true));
         servers.stream()
                 .skip(1)
@@ -331,13 +337,15 @@
 
     @Override
     public void abandon(String id, int attempt) {
-        relay.handover().abandon(id, attempt);
+        relay.handover().cancelAttempt(id, attempt);
     }
 
     /** Ends once the calls that are out have been told of and no client is connected. */
     private void left() {
         servers.forEach(HttpServer::closeIdle);
-        boolean done = relay.out() == 0 && passing.quiet() && servers.stream().allMatch(s -> s.open() == 0);
+        boolean done = relay.attemptsInFlight() == 0
+                && passing.quiet()
+                && servers.stream().allMatch(s -> s.open() == 0);
         if (done && succession.flushed() || io.clock.now() > endsBy) {
             System.err.println("left");
             Runtime.getRuntime().halt(0);
@@ -356,10 +364,10 @@
     }
 
     private void closeKept() {
-        looking = life.closing();
+        looking = life.closesConnections();
         if (looking) {
             servers.forEach(HttpServer::closeIdle);
-            life.clients(servers.stream().allMatch(s -> s.open() == 0));
+            life.setClientsGone(servers.stream().allMatch(s -> s.open() == 0));
             io.at(io.clock.now() + AGAIN_NS, this::closeKept);
         }
     }
@@ -389,9 +397,9 @@
             case GIVEN -> io.at(io.clock.now() + LOOK_NS, () -> drain(start, ended));
             case OWNER -> {
                 neighbours.leave();
-                life.end();
+                life.beginEnd();
                 servers.forEach(s -> s.closing(true));
-                relay.closing(start + END_NS);
+                relay.shutDownBy(start + END_NS);
                 System.err.println("draining");
                 io.at(
                         start + COMING_NS,
@@ -405,8 +413,8 @@
     }
 
     private void settle(long end, CountDownLatch ended) {
-        boolean settled = relay.held() == 0 && front.owed() == 0;
-        if (unanswered() == 0 && (settled || relay.out() == 0 && io.clock.now() > end - COMING_NS)
+        boolean settled = relay.requestsInFlight() == 0 && front.owed() == 0;
+        if (unanswered() == 0 && (settled || relay.attemptsInFlight() == 0 && io.clock.now() > end - COMING_NS)
                 || io.clock.now() > end) {
             part(Math.min(io.clock.now() + PARTING_NS, end + PARTED_NS), ended);
             return;
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -60,7 +60,12 @@
             case "gossip" -> new PartitionService(io, settings, relay, hosts, count, gossip);
             case "told" ->
                 new PartitionService(
-                        io, settings, relay, hosts, count, new PartitionService.Told((int) told.whole("me", 0), count));
+                        io,
+                        settings,
+                        relay,
+                        hosts,
+                        count,
+                        new PartitionService.Told((int) told.getLong("me", 0), count));
             default -> null;
         };
         fleet = settings.get(SettingKeys.FLEET_LISTEN).equals("off")
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -77,7 +77,7 @@
 
     private List<GossipAgent.Own> own() {
         List<GossipAgent.Own> all = new ArrayList<>();
-        relay.breakers((destination, b) -> all.add(new GossipAgent.Own(
+        relay.forEachBreaker((destination, b) -> all.add(new GossipAgent.Own(
                 destination,
                 STATES.get(b.standing()),
                 (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)),
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -35,7 +35,7 @@
     }
 
     void look() {
-        relay.breakers(this::look);
+        relay.forEachBreaker(this::look);
     }
 
     private void look(long destination, Sender.Breaker breaker) {
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -49,7 +49,7 @@
         this.file = file;
         this.moved = config;
         boolean ruled = !settings.get(SettingKeys.RULES_FILES).isEmpty()
-                || !ties.journal.schemes().isEmpty();
+                || !ties.journal.keySchemes().isEmpty();
         rules = ruled ? rules(RulesSetup.load(config.settings(), settings)) : null;
     }
 
@@ -122,7 +122,7 @@
     private void guard() {
         VersionService versions = neighbours == null ? null : neighbours.versions();
         if (versions != null) {
-            rulings(versions.guard(rules, ties.relay::knows));
+            rulings(versions.guard(rules, ties.relay::isKnown));
         }
     }
 
--- a/src/main/java/elderseam/app/OwnershipTransfer.java
+++ b/src/main/java/elderseam/app/OwnershipTransfer.java
@@ -19,10 +19,10 @@
     /** What the daemon does at each step. */
     interface Estate {
         /** Stops deciding, accepting, watching and telling; the calls that are out go on, and are told. */
-        HandoverFrame.Give give(Consumer<Handover.Passed> told);
+        HandoverFrame.Give give(Consumer<Handover.ForwardedOutcome> told);
 
         /** Takes all of that back. */
-        void resume(List<Handover.Passed> heard);
+        void resume(List<Handover.ForwardedOutcome> heard);
 
         /** The other process has it: what clients still send goes there. */
         void leave();
@@ -37,7 +37,8 @@
     private final OwnershipLock owner;
     private final Estate estate;
     private final HandoverSender giving = new HandoverSender();
-    private final List<Handover.Passed> heard = new ArrayList<>(); // since it was given; as many as calls were out
+    private final List<Handover.ForwardedOutcome> heard =
+            new ArrayList<>(); // since it was given; as many as calls were out
     private HandoverChannel link;
     private ServerSocketChannel links;
 
@@ -128,7 +129,7 @@
     private void regain(long by) {
         try {
             if (owner.take()) {
-                List<Handover.Passed> all = List.copyOf(heard);
+                List<Handover.ForwardedOutcome> all = List.copyOf(heard);
                 heard.clear();
                 estate.resume(all);
                 return;
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -109,13 +109,13 @@
             names = present;
             known = ids;
             preferred = EndpointSubsetting.preferred(members.self(), names, listed, connections, each);
-            relay.part(
+            relay.setFleetShare(
                     sharers,
                     e -> preferred.contains(e) || !known.contains(e),
                     retries); // one that is new is not passed over
         }
         if (turns) {
-            relay.breakers(this::turn);
+            relay.forEachBreaker(this::turn);
         }
         io.at(io.clock.now() + LOOK_NS, this::look);
     }
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -70,7 +70,7 @@
                 module.mostHeld(),
                 this,
                 words -> System.err.println(words));
-        for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
+        for (Map.Entry<String, byte[]> s : journal.keySchemes().entrySet()) {
             IdempotencyKeyScheme scheme =
                     new IdempotencyKeyScheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
             if (loaded == null || !scheme.equals(loaded.book().scheme())) {
@@ -80,18 +80,18 @@
         if (!put(loaded)) {
             throw new IOException("rules: the journal has no room for what their keys stand on");
         }
-        relay.countOut();
+        relay.countAttemptsByDestination();
         prune();
     }
 
     /** Between two requests, whole; what its keys stand on is journalled before any of them counts. */
     private boolean put(RuleLoader.Loaded loaded) {
         IdempotencyKeyScheme scheme = loaded == null ? null : loaded.book().scheme();
-        if (scheme != null && !journal.scheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8))) {
+        if (scheme != null && !journal.putKeyScheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8))) {
             return false;
         }
         if (scheme == null) {
-            journal.noScheme();
+            journal.clearCurrentKeyScheme();
         }
         decider.put(loaded == null ? null : loaded.book());
         earlier = decider.remembered();
@@ -106,7 +106,7 @@
     }
 
     private void prune() {
-        decider.forget(journal.schemes().keySet());
+        decider.forget(journal.keySchemes().keySet());
         earlier = decider.remembered();
         io.at(io.clock.now() + PRUNE_NS, this::prune);
     }
@@ -129,20 +129,20 @@
     }
 
     @Override
-    public Ruled rule(ActiveRequest.Message m, RequestAttributes facts) {
+    public Ruling rule(ActiveRequest.Message m, RequestAttributes facts) {
         long now = io.clock.now();
-        if (m.destination() == RequestDispatcher.NOWHERE) { // the warm path's
-            return new Ruled(m, List.of(), null, "");
+        if (m.destination() == RequestDispatcher.NO_DESTINATION) { // the warm path's
+            return new Admitted(m, List.of());
         }
         RuleEngine.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
         if (!d.fault().isEmpty()) {
-            return new Ruled(m, List.of(), null, d.fault());
+            return new Invalid(m, d.fault());
         }
-        boolean known = relay.knows(m.id())
-                || (!d.message().same().isEmpty() || !d.also().isEmpty())
-                        && relay.knows(d.message().same(), d.also());
+        boolean known = relay.isKnown(m.id())
+                || (!d.message().deduplicationKey().isEmpty() || !d.also().isEmpty())
+                        && relay.isKnown(d.message().deduplicationKey(), d.also());
         long wait = known ? 0 : decider.admit(now);
-        return new Ruled(d.message(), d.also(), wait > 0 ? FinalOutcome.refused(wait) : null, "");
+        return wait > 0 ? new Rejected(FinalOutcome.rejected(wait)) : new Admitted(d.message(), d.also());
     }
 
     // ---------------------------------------------------------------- how the dispatcher stands
@@ -152,7 +152,7 @@
         if (now - breakersAt > FRESH_NS) {
             breakersAt = now;
             breakers.clear();
-            relay.breakers(breakers::put);
+            relay.forEachBreaker(breakers::put);
         }
         return breakers.get(destination);
     }
@@ -173,12 +173,12 @@
 
     @Override
     public int inFlight(long destination) {
-        return relay.out(destination);
+        return relay.attemptsInFlight(destination);
     }
 
     @Override
     public int held() {
-        return relay.held();
+        return relay.requestsInFlight();
     }
 
     @Override
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -35,8 +35,10 @@
             EndpointConnectionPool few = new EndpointConnectionPool(io, 1, FEW, PlatformFrontend.MOST_BODY);
             PlatformFrontend front = new PlatformFrontend(
                     io, few, new EndpointAddress("none", ""), relay, config.settings(), null, new Lifecycle());
-            relay.front(PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, few, hosts, config.settings()));
-            relay.hosts(Sender.ListKind.CACHED, hosts.decode(config.known().at("servers"), true));
+            relay.registerFrontend(
+                    PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, few, hosts, config.settings()));
+            relay.updateEndpoints(
+                    Sender.ListKind.CACHED, hosts.decode(config.known().get("servers"), true));
             HttpServer server = new HttpServer(
                     io,
                     new InetSocketAddress(config.listen().getAddress(), 0),
--- a/src/main/java/elderseam/app/StartupWarmup.java
+++ b/src/main/java/elderseam/app/StartupWarmup.java
@@ -31,7 +31,7 @@
                 "X-Remaining",
                 "1m",
                 "X-Addressing",
-                "dest=" + RequestDispatcher.NOWHERE,
+                "dest=" + RequestDispatcher.NO_DESTINATION,
                 "Idempotency-Key",
                 "warm",
                 "X-Org",
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -126,14 +126,17 @@
         }
 
         @Override
-        public Ruled rule(ActiveRequest.Message message, RequestAttributes facts) {
+        public Ruling rule(ActiveRequest.Message message, RequestAttributes facts) {
             if (refuses && acting().number() > 0 && inDoubt() && !known.test(message.id())) {
-                return new Ruled(message, List.of(), FinalOutcome.refused(boundMs * Clock.MS), "");
+                return new Rejected(FinalOutcome.rejected(boundMs * Clock.MS));
             }
-            boolean told = message.cls() >= 0 && message.destination() >= 0;
-            return rules != null
-                    ? rules.rule(message, facts)
-                    : new Ruled(message, List.of(), null, told ? "" : "the message tells no class or destination");
+            boolean told = message.classIndex() >= 0 && message.destination() >= 0;
+            if (rules != null) {
+                return rules.rule(message, facts);
+            }
+            return told
+                    ? new Admitted(message, List.of())
+                    : new Invalid(message, "the message tells no class or destination");
         }
     }
 
--- a/src/main/java/elderseam/cli/Commands.java
+++ b/src/main/java/elderseam/cli/Commands.java
@@ -280,9 +280,9 @@
                 if (json) {
                     out.printf(
                             "{\"key\":%s,\"value\":%s,\"from\":%s,\"live\":%s}%n",
-                            JsonValue.quoted(k.path()),
-                            JsonValue.quoted(s.text(k)),
-                            JsonValue.quoted(s.origin(k)),
+                            JsonValue.quote(k.path()),
+                            JsonValue.quote(s.text(k)),
+                            JsonValue.quote(s.origin(k)),
                             k.live());
                 } else {
                     out.printf(
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -71,12 +71,12 @@
             if (config == null) {
                 return KnownNames.untold();
             }
-            JsonValue settings = JsonValue.read(Files.readAllBytes(config)).at("settings");
-            return KnownNames.of(names(settings.at("services")), names(settings.at("orgs")));
+            JsonValue settings = JsonValue.read(Files.readAllBytes(config)).get("settings");
+            return KnownNames.of(names(settings.get("services")), names(settings.get("orgs")));
         }
 
         private static List<String> names(JsonValue list) {
-            return list.items().stream().map(i -> i.at("name").text("")).toList();
+            return list.items().stream().map(i -> i.get("name").asText("")).toList();
         }
 
         RuleLoader.Loaded read(KnownNames names) throws IOException {
@@ -187,12 +187,12 @@
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(JsonValue.quoted(k))
+                got.forEach((k, v) -> all.append(JsonValue.quote(k))
                         .append(':')
-                        .append(JsonValue.quoted(v))
+                        .append(JsonValue.quote(v))
                         .append(','));
                 out.println(all + "\"why\":["
-                        + String.join(",", trace.stream().map(JsonValue::quoted).toList()) + "]}");
+                        + String.join(",", trace.stream().map(JsonValue::quote).toList()) + "]}");
             } else {
                 got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
                 trace.forEach(t -> out.println("  " + t));
--- a/src/main/java/elderseam/control/OperatorCommands.java
+++ b/src/main/java/elderseam/control/OperatorCommands.java
@@ -37,7 +37,7 @@
         if (command instanceof OperatorCommand.Fault f) {
             return CommandResult.no(f.why());
         } else if (command instanceof OperatorCommand.Info) {
-            List<String> lines = new ArrayList<>(relay.figures(classes));
+            List<String> lines = new ArrayList<>(relay.metricLines(classes));
             lines.add("EOF");
             return new CommandResult(true, word(), lines);
         } else if (life.state() == Lifecycle.State.ENDING) {
@@ -55,7 +55,7 @@
                     ? CommandResult.no("this process agrees on no versions; fleet.versions_bound_ms is 0")
                     : config.apply(c);
         } else if (command instanceof OperatorCommand.LameDuck) {
-            if (life.drain()) {
+            if (life.beginDrain()) {
                 drain.run();
             }
             return CommandResult.yes(word());
@@ -72,10 +72,10 @@
     }
 
     private CommandResult detach(String host, boolean out) {
-        return switch (relay.detach(host, out)) {
-            case DONE -> CommandResult.yes(out ? "detached" : "attached");
-            case UNKNOWN -> CommandResult.no("no endpoint with that id was ever listed");
-            case NO_ROOM -> CommandResult.no("no room: too many endpoints are detached, or the journal is full");
+        return switch (relay.setDrained(host, out)) {
+            case APPLIED -> CommandResult.yes(out ? "detached" : "attached");
+            case UNKNOWN_ENDPOINT -> CommandResult.no("no endpoint with that id was ever listed");
+            case NO_CAPACITY -> CommandResult.no("no room: too many endpoints are detached, or the journal is full");
         };
     }
 }
--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -1,54 +1,114 @@
 package elderseam.core;
 
-/** A message on its way: what its front decoded, once, and how far it has come. One thread owns it. */
+/** A request in flight: its message and the state of its attempts. Confined to the event-loop thread. */
 public final class ActiveRequest {
-    /** What a front made of a message. {@code deadline} is absolute; {@code front} names who is owed the answer;
-     *  {@code heedsWindow}: a refused one comes again only while a repeat would still be dropped;
-     *  {@code key} (may be empty) and {@code body} are the front's own and pass through unread. Its end is
-     *  remembered until {@code rememberUntil}. Two with the same {@code same} (empty: none) are one message, by an
-     *  operator's rule; it begins with the name of that rule's scheme and a colon. */
+    /**
+     * Part of a request's time that is reserved for notifying its client, so that a stalled thread still notifies in
+     * time.
+     */
+    static final long NOTIFICATION_RESERVE_NS = 80 * Clock.MS;
+
+    /**
+     * A message as its frontend decoded it. Times are of {@link Clock#now}. Nobody may modify the body.
+     *
+     * @param id identity under which the final outcome is remembered
+     * @param frontend number of the frontend that owes the client the final outcome
+     * @param classIndex index of the message class in the settings; below 0 only until the admission rules have set
+     *     it
+     * @param tenantIndex index of the tenant in the settings, or -1 for none
+     * @param destination number of the destination; below 0 only until the admission rules have set it
+     * @param deadline when the client stops waiting
+     * @param rememberUntil until when the final outcome is remembered
+     * @param resubmitted whether the client has submitted it before
+     * @param retriesWithinKeyWindow whether a rejected client comes back only while a repeat would still be
+     *     deduplicated
+     * @param idempotencyKey the client's key, forwarded unread; may be empty
+     * @param body forwarded unread
+     * @param deduplicationKey by an operator's rule, messages with the same key are one message; begins with the name
+     *     of the rule's key scheme and a colon; empty for none
+     */
     public record Message(
             String id,
-            byte front,
-            int cls,
-            int tenant,
+            byte frontend,
+            int classIndex,
+            int tenantIndex,
             long destination,
             long deadline,
             long rememberUntil,
-            boolean again,
-            boolean heedsWindow,
-            String key,
+            boolean resubmitted,
+            boolean retriesWithinKeyWindow,
+            String idempotencyKey,
             byte[] body,
-            String same) {
+            String deduplicationKey) {
+        /** A message without a deduplication key. */
         public Message(
                 String id,
-                byte front,
-                int cls,
-                int tenant,
+                byte frontend,
+                int classIndex,
+                int tenantIndex,
                 long destination,
                 long deadline,
                 long rememberUntil,
-                boolean again,
-                boolean heedsWindow,
-                String key,
+                boolean resubmitted,
+                boolean retriesWithinKeyWindow,
+                String idempotencyKey,
                 byte[] body) {
-            this(id, front, cls, tenant, destination, deadline, rememberUntil, again, heedsWindow, key, body, "");
+            this(
+                    id,
+                    frontend,
+                    classIndex,
+                    tenantIndex,
+                    destination,
+                    deadline,
+                    rememberUntil,
+                    resubmitted,
+                    retriesWithinKeyWindow,
+                    idempotencyKey,
+                    body,
+                    "");
+        }
+
+        /** Whether an operator's rule gave it a deduplication key. */
+        boolean hasDeduplicationKey() {
+            return !deduplicationKey.isEmpty();
+        }
+
+        /** By when its outcome has to be known at the latest, so that the client is notified before the deadline. */
+        long latestOutcome(long now) {
+            long remaining = deadline - now;
+            return deadline - Math.min(NOTIFICATION_RESERVE_NS, Math.max(0, remaining / 2));
         }
     }
 
+    /** The message, unchanged for the request's whole life. */
     public final Message message;
+
+    /** Attempts begun so far, by this process and by earlier ones. */
     int attempts;
+
+    /** Whether an endpoint may have acted on one of the attempts. */
     boolean mayHaveRun;
-    long keyUntil;
-    EndpointCall out; // the attempt under way, or none
-    AttemptTracker.Leg leg; // the last attempt
-    FinalOutcome answer;
-    boolean owned; // its client was told that it is taken on
+
+    /** With {@link #mayHaveRun}: until when endpoints deduplicate a repeat, for a class with idempotency keys. */
+    long deduplicatedUntil;
+
+    /** The attempt in flight, or null. */
+    EndpointCall inFlightCall;
+
+    /** The attempt begun last, or null. */
+    AttemptTracker.ActiveAttempt lastAttempt;
+
+    /** The final outcome, or null while there is none. */
+    FinalOutcome outcome;
+
+    /** Whether its client knows that the request was accepted, and so waits to be notified of the outcome. */
+    boolean acknowledged;
 
     ActiveRequest(Message message) {
         this.message = message;
     }
 
+    /** The message's id. */
     public String id() {
         return message.id();
     }
--- a/src/main/java/elderseam/core/AdmissionRules.java
+++ b/src/main/java/elderseam/core/AdmissionRules.java
@@ -1,20 +1,55 @@
 package elderseam.core;
 
 import java.util.List;
+import java.util.Optional;
 
-/** What an operator's rules make of a message before it is taken on; there is none while there are no rules. */
+/**
+ * The operator's rules on a message before it is accepted; absent where there are none. Confined to the event-loop
+ * thread.
+ */
 public interface AdmissionRules {
+    /** What the rules make of a message. */
+    sealed interface Ruling {
+        /**
+         * Submits the message as ruled.
+         *
+         * @return as {@link RequestDispatcher#submit(ActiveRequest.Message, List)}
+         */
+        Optional<FinalOutcome> submitTo(RequestDispatcher dispatcher);
+    }
+
+    /**
+     * The message may be accepted.
+     *
+     * @param message as it is to be accepted: the rules may have changed it
+     * @param alternateKeys further deduplication keys by which an earlier duplicate may be known
+     */
+    record Admitted(ActiveRequest.Message message, List<String> alternateKeys) implements Ruling {
+        @Override
+        public Optional<FinalOutcome> submitTo(RequestDispatcher dispatcher) {
+            return dispatcher.submit(message, alternateKeys);
+        }
+    }
+
+    /** The message must not be accepted, and has this outcome. */
+    record Rejected(FinalOutcome outcome) implements Ruling {
+        @Override
+        public Optional<FinalOutcome> submitTo(RequestDispatcher dispatcher) {
+            return Optional.of(outcome);
+        }
+    }
+
     /**
-     * The message as it is to be taken on. {@code also}: further keys by which an earlier copy may be known; {@code refused}: not to be
-     * taken on, with this answer, or null; {@code fault}: neither the message nor a rule says what it is, or where it goes; else empty.
+     * Neither the message nor a rule says what class it has, or where it goes. Only a frontend whose messages always
+     * name both may submit it all the same; it is submitted unchanged.
      */
-    record Ruled(ActiveRequest.Message message, List<String> also, FinalOutcome refused, String fault) {
-        /** Taken on, or the answer at once; as {@link RequestDispatcher#take}. Not with a fault. */
-        public FinalOutcome take(RequestDispatcher relay) {
-            return refused != null ? refused : relay.take(message, also);
+    record Invalid(ActiveRequest.Message message, String reason) implements Ruling {
+        @Override
+        public Optional<FinalOutcome> submitTo(RequestDispatcher dispatcher) {
+            return dispatcher.submit(message);
         }
     }
 
-    /** A class, or a destination, below 0 is one that the message does not tell. */
-    Ruled rule(ActiveRequest.Message message, RequestAttributes facts);
+    /** Rules on a message; its class or destination may be below 0 where it does not name one. */
+    Ruling rule(ActiveRequest.Message message, RequestAttributes attributes);
 }
--- a/src/main/java/elderseam/core/AttemptListener.java
+++ b/src/main/java/elderseam/core/AttemptListener.java
@@ -1,19 +1,20 @@
 package elderseam.core;
 
-/** What the core is asked and told about one attempt, on its own thread. */
+/** Receives the events of one attempt. Called on the event-loop thread. */
 public interface AttemptListener {
     /**
-     * Asked just before bytes leave: time has passed since the attempt was decided, for a connection or a pause, and
-     * its host may have told a wait or have been taken off the list. False: it must not leave, and has not.
+     * Asked just before bytes are sent: since the decision, time has passed for a connection or a pause, and the
+     * endpoint may have sent a Retry-After or have been removed from the list. When false, nothing may be sent, and
+     * nothing has been.
      */
-    boolean mayLeave();
+    boolean maySend();
 
-    /** Its last byte was handed to the network: from now on it may run. */
+    /** The last byte was handed to the network: from now on the endpoint may act on it. */
     default void written() {}
 
-    /** Its end, once. */
-    void ended(EndpointCall.End end);
+    /** The attempt has ended. Called exactly once. */
+    void ended(AttemptOutcome outcome);
 
-    /** It had been given up, and its answer came all the same, after {@link #ended} and at most once. */
-    void answeredLate(EndpointCall.End end);
+    /** The response to a cancelled attempt arrived after all. Called after {@link #ended}, at most once. */
+    void answeredLate(AttemptOutcome outcome);
 }
--- a/src/main/java/elderseam/core/AttemptSender.java
+++ b/src/main/java/elderseam/core/AttemptSender.java
@@ -1,11 +1,14 @@
 package elderseam.core;
 
-/** Carries attempts to upstream hosts. */
+/** Sends attempts to endpoints. Called on the event-loop thread. */
 public interface AttemptSender {
-    /** Starts an attempt that must be connected and answered by those times; nothing is told from within this call. */
+    /**
+     * Begins an attempt that must be connected by {@code connectBy} and answered by {@code answerBy}, both of
+     * {@link Clock#now}. The listener is never called from within this method.
+     */
     EndpointCall send(
-            ActiveRequest.Message message, String host, long connectBy, long answerBy, AttemptListener attempt);
+            ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener);
 
-    /** Closes the idle connections to a host. */
-    void closeIdle(String host);
+    /** Closes the idle connections to an endpoint. */
+    void closeIdle(String endpoint);
 }
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -1,171 +1,160 @@
 package elderseam.core;
 
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.Map;
 
-/** The attempts of a relay's streams: each is begun once the journal knows of it, and counted while it is out. */
+/**
+ * Begins and cancels attempts and takes their outcomes. Each attempt is in the journal before its first byte can be
+ * sent, and is counted while it is in flight. Confined to the event-loop thread.
+ */
 final class AttemptTracker {
-    private final RequestDispatcher relay;
+    private final RequestDispatcher dispatcher;
     private final Sender.Settings settings;
-    private final PolicyFacade facade;
+    private final PolicyFacade policy;
     private final Journal journal;
     private final Clock clock;
     private final EventLoop loop;
-    private final Metrics figures;
-    private final Map<Byte, AttemptSender> upstreams = new HashMap<>();
-    private Map<Long, int[]> outs; // calls out by destination, where anybody asks
-    private int out;
+    private final Metrics metrics;
+    private final Map<Byte, AttemptSender> senders = new HashMap<>();
+    private final AttemptCounter inFlight = new AttemptCounter();
 
     AttemptTracker(
-            RequestDispatcher relay,
+            RequestDispatcher dispatcher,
             Sender.Settings settings,
-            PolicyFacade facade,
+            PolicyFacade policy,
             Journal journal,
             Clock clock,
             EventLoop loop,
-            Metrics figures) {
-        this.relay = relay;
+            Metrics metrics) {
+        this.dispatcher = dispatcher;
         this.settings = settings;
-        this.facade = facade;
+        this.policy = policy;
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
-        this.figures = figures;
+        this.metrics = metrics;
     }
 
-    /** Who carries what that front took on. */
-    void upstream(byte front, AttemptSender upstream) {
-        upstreams.put(front, upstream);
+    /** Registers the sender of what that frontend submits. */
+    void registerSender(byte frontend, AttemptSender sender) {
+        senders.put(frontend, sender);
     }
 
-    void closeIdle(String host) {
-        upstreams.values().forEach(u -> u.closeIdle(host));
+    /** Closes the idle connections of all senders to an endpoint. */
+    void closeIdle(String endpoint) {
+        senders.values().forEach(sender -> sender.closeIdle(endpoint));
     }
 
-    /** From now on the calls out are counted by destination too. */
-    void countOut() {
-        outs = outs == null ? new HashMap<>() : outs;
+    /** Begins to count by destination too. */
+    void countByDestination() {
+        inFlight.countByDestination();
     }
 
-    int out() {
-        return out;
+    /** Attempts in flight. */
+    int inFlight() {
+        return inFlight.total();
     }
 
-    /** Calls out to a destination, where they are counted. */
-    int out(long destination) {
-        int[] n = outs == null ? null : outs.get(destination);
-        return n == null ? 0 : n[0];
+    /** Attempts in flight to a destination, where they are counted. */
+    int inFlight(long destination) {
+        return inFlight.of(destination);
     }
 
-    private void out(long destination, int more) {
-        out += more;
-        if (outs != null) {
-            int[] n = outs.computeIfAbsent(destination, d -> new int[1]);
-            n[0] = Math.max(0, n[0] + more); // those that were out before the counting began
-            if (n[0] == 0) {
-                outs.remove(destination);
-            }
-        }
-    }
-
-    /** The journal knows of the attempt before its first byte can leave. */
-    void send(ActiveRequest s, String host, long answerBy) {
-        long start = clock.now(), left = s.message.deadline() - start;
-        Leg leg = out(s, s.attempts++, host, start);
-        long by = Math.min(
-                answerBy, s.message.deadline() - Math.min(RequestDispatcher.TELLING_NS, Math.max(0, left / 2)));
-        if (journal.sent(s.id())) {
-            s.out = upstreams
-                    .get(s.message.front())
-                    .send(
-                            s.message,
-                            host,
-                            Math.min(by, start + settings.connections().timeoutNs()),
-                            by,
-                            leg);
-        } else { // unrecorded, it must not leave; held back here, it tells the module nothing of the host
-            loop.at(start, () -> leg.ended(End.unanswered(Progress.NOT_CONNECTED, Status.HELD)));
+    /** Begins the request's next attempt, to be answered by that time at the latest. */
+    void begin(ActiveRequest request, String endpoint, long answerBy) {
+        long start = clock.now();
+        int number = request.attempts;
+        request.attempts++;
+        ActiveAttempt attempt = track(request, number, endpoint, start);
+        if (!journal.attemptBegins(request.id())) {
+            // unrecorded, it must not be sent; held back here, it tells the policy nothing of the endpoint
+            loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.HELD)));
+            return;
         }
+        ActiveRequest.Message message = request.message;
+        long latestAnswer = Math.min(answerBy, message.latestOutcome(start));
+        long latestConnect =
+                Math.min(latestAnswer, start + settings.connections().timeoutNs());
+        AttemptSender sender = senders.get(message.frontend());
+        request.inFlightCall = sender.send(message, endpoint, latestConnect, latestAnswer, attempt);
     }
 
-    /** That attempt of a stream is out, here or at another process. */
-    Leg out(ActiveRequest s, int number, String host, long start) {
-        out(s.message.destination(), 1);
-        s.leg = new Leg(s, number, host, start);
-        return s.leg;
+    /** Counts an attempt as in flight that begins here, or is still in flight in another process. */
+    ActiveAttempt track(ActiveRequest request, int number, String endpoint, long start) {
+        inFlight.add(request.message.destination(), 1);
+        request.lastAttempt = new ActiveAttempt(request, number, endpoint, start);
+        return request.lastAttempt;
     }
 
-    /** Stops waiting for an attempt, if it is the one that is out. */
-    static void abandon(ActiveRequest s, int number) {
-        if (s != null && s.out != null && s.attempts - 1 == number) {
-            s.out.abandon();
+    /** Stops waiting for an attempt if it is the one in flight. */
+    void cancel(ActiveRequest request, int number) {
+        if (request.inFlightCall != null && request.attempts - 1 == number) {
+            request.inFlightCall.cancel();
         }
     }
 
-    /** One attempt, as its upstream knows it. Once the work is another process's, that one is told what is heard of it. */
-    final class Leg implements AttemptListener {
-        private final ActiveRequest stream;
+    /**
+     * One attempt, as its sender knows it. After a handover its events are forwarded to the process that took over.
+     */
+    final class ActiveAttempt implements AttemptListener {
+        private final ActiveRequest request;
         final int number;
-        final String host;
+        final String endpoint;
         final long start;
 
-        private Leg(ActiveRequest stream, int number, String host, long start) {
-            this.stream = stream;
+        private ActiveAttempt(ActiveRequest request, int number, String endpoint, long start) {
+            this.request = request;
             this.number = number;
-            this.host = host;
+            this.endpoint = endpoint;
             this.start = start;
         }
 
         @Override
-        public boolean mayLeave() {
-            return !relay.handover().passedOn() && facade.mayCall(clock.now(), stream.id(), host);
+        public boolean maySend() {
+            return !dispatcher.handover().isTransferred() && policy.maySend(clock.now(), request.id(), endpoint);
         }
 
         @Override
         public void written() {
-            figures.called(stream.message.cls());
+            metrics.attemptWritten(request.message.classIndex());
         }
 
         @Override
-        public void ended(End end) {
-            stream.out = null;
-            out(stream.message.destination(), -1);
-            if (relay.handover().tell(stream, this, false, end)) {
+        public void ended(AttemptOutcome outcome) {
+            request.inFlightCall = null;
+            inFlight.add(request.message.destination(), -1);
+            if (dispatcher.handover().forward(request, this, false, outcome)) {
                 return;
             }
-            journal.result(stream.id(), end.mayHaveRun());
-            stream.mayHaveRun |= end.mayHaveRun();
-            facade.report(clock.now(), stream.id(), number, host, start, end);
-            if (over(end)) {
-                relay.end(stream, answer(end));
+            journal.attemptEnded(request.id(), outcome.mayHaveRun());
+            request.mayHaveRun |= outcome.mayHaveRun();
+            policy.attemptEnded(clock.now(), request.id(), number, endpoint, start, outcome);
+            if (outcome.completesRequest()) {
+                dispatcher.complete(request, finalOutcome(outcome));
             }
-            relay.answered();
+            dispatcher.attemptEnded();
         }
 
-        /** The delivery of one that is out again, or has its end, does not count a second time. */
+        /** A delivery does not count a second time where the request is in flight again, or has its outcome. */
         @Override
-        public void answeredLate(End end) {
-            if (relay.handover().tell(stream, this, true, end)) {
+        public void answeredLate(AttemptOutcome outcome) {
+            if (dispatcher.handover().forward(request, this, true, outcome)) {
                 return;
             }
-            facade.reportLate(clock.now(), host, end);
-            if (over(end) && stream.out == null && relay.stream(stream.id()) == stream) {
-                facade.delivered(clock.now(), stream.id());
-                relay.end(stream, answer(end));
+            policy.answeredLate(clock.now(), endpoint, outcome);
+            boolean waits = request.inFlightCall == null && dispatcher.request(request.id()) == request;
+            if (outcome.completesRequest() && waits) {
+                policy.withdraw(clock.now(), request.id());
+                dispatcher.complete(request, finalOutcome(outcome));
             }
-            relay.answered();
-        }
-
-        private static boolean over(End end) {
-            return end.status() == Status.DELIVERED || end.status() == Status.OVER;
+            dispatcher.attemptEnded();
         }
 
-        private static FinalOutcome answer(End end) {
-            return end.status() == Status.OVER ? FinalOutcome.OVER : FinalOutcome.DELIVERED;
+        private static FinalOutcome finalOutcome(AttemptOutcome outcome) {
+            return outcome.status() == Status.OVER ? FinalOutcome.WITHDRAWN : FinalOutcome.DELIVERED;
         }
     }
 }
--- a/src/main/java/elderseam/core/DuplicateIndex.java
+++ b/src/main/java/elderseam/core/DuplicateIndex.java
@@ -4,67 +4,73 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * Messages that an operator's key says are the same: the first of them is under way, the others wait for its end. Decisions
- * without I/O; {@link RequestDispatcher} carries them out.
+ * Finds the message in flight that has a given deduplication key, and the duplicates that wait for its outcome. Does
+ * no I/O; confined to the event-loop thread.
  */
 final class DuplicateIndex {
-    private record Pending(ActiveRequest first, List<ActiveRequest.Message> others) {}
+    private record Group(ActiveRequest first, List<ActiveRequest.Message> waiting) {}
 
-    private final Map<String, Pending> pending = new HashMap<>(); // by key
-    private final Map<String, String> waiting = new HashMap<>(); // ids of the others, to their keys
+    private final Map<String, Group> groupsByKey = new HashMap<>();
+    private final Map<String, String> keysOfWaiting = new HashMap<>();
 
-    /** It is the first of its key. */
-    void leads(ActiveRequest s) {
-        pending.put(s.message.same(), new Pending(s, new ArrayList<>(1)));
+    /** The request is the first in flight with its key. */
+    void lead(ActiveRequest first) {
+        groupsByKey.put(first.message.deduplicationKey(), new Group(first, new ArrayList<>(1)));
     }
 
-    /** The message under way that has one of these keys, or null. */
-    ActiveRequest first(String same, List<String> also) {
-        Pending p = pending.get(same);
-        for (int i = 0; p == null && i < also.size(); i++) {
-            p = pending.get(also.get(i));
+    /** The first request in flight that has one of these keys. */
+    Optional<ActiveRequest> first(String key, List<String> alternateKeys) {
+        Group group = groupsByKey.get(key);
+        for (int i = 0; group == null && i < alternateKeys.size(); i++) {
+            group = groupsByKey.get(alternateKeys.get(i));
         }
-        return p == null ? null : p.first;
+        return group == null ? Optional.empty() : Optional.of(group.first);
     }
 
-    /** It waits for the end of that one from now on. */
-    void joins(ActiveRequest.Message m, ActiveRequest first) {
-        pending.get(first.message.same()).others.add(m);
-        waiting.put(m.id(), first.message.same());
+    /** The message waits for the outcome of that request from now on. */
+    void join(ActiveRequest.Message duplicate, ActiveRequest first) {
+        String key = first.message.deduplicationKey();
+        groupsByKey.get(key).waiting.add(duplicate);
+        keysOfWaiting.put(duplicate.id(), key);
     }
 
-    boolean waits(String id) {
-        return waiting.containsKey(id);
+    /** Whether the message with that id waits for another's outcome. */
+    boolean isWaiting(String id) {
+        return keysOfWaiting.containsKey(id);
     }
 
-    int size() {
-        return waiting.size();
+    /** How many messages wait. */
+    int waiting() {
+        return keysOfWaiting.size();
     }
 
-    /** Those that waited for it, in the order in which they came. */
-    List<ActiveRequest.Message> ended(ActiveRequest first) {
-        Pending p = pending.get(first.message.same());
-        if (p == null || p.first != first) {
+    /** Removes a request that is complete; those that waited for it, in the order of their arrival. */
+    List<ActiveRequest.Message> complete(ActiveRequest first) {
+        String key = first.message.deduplicationKey();
+        Group group = groupsByKey.get(key);
+        if (group == null || group.first != first) {
             return List.of();
         }
-        pending.remove(first.message.same());
-        p.others.forEach(m -> waiting.remove(m.id()));
-        return p.others;
+        groupsByKey.remove(key);
+        group.waiting.forEach(duplicate -> keysOfWaiting.remove(duplicate.id()));
+        return group.waiting;
     }
 
     /**
-     * The time of one that still waits is up: its answer, or null where it has had one. It can't have run where the first surely
-     * has not, and may come again then; else nobody knows.
+     * Removes a message whose time is up: its outcome, or empty if it waits no longer. It is rejected where the first
+     * has surely not run, and may be retried then; otherwise it has failed.
      */
-    FinalOutcome expired(ActiveRequest.Message m, long againNs) {
-        String same = waiting.remove(m.id());
-        if (same == null) {
-            return null;
+    Optional<FinalOutcome> expire(ActiveRequest.Message duplicate, long retryAfterNs) {
+        String key = keysOfWaiting.remove(duplicate.id());
+        if (key == null) {
+            return Optional.empty();
         }
-        Pending p = pending.get(same);
-        p.others.removeIf(o -> o.id().equals(m.id()));
-        return p.first.mayHaveRun || p.first.out != null ? FinalOutcome.FAILED : FinalOutcome.refused(againNs);
+        Group group = groupsByKey.get(key);
+        group.waiting.removeIf(other -> other.id().equals(duplicate.id()));
+        boolean firstMayHaveRun = group.first.mayHaveRun || group.first.inFlightCall != null;
+        return Optional.of(firstMayHaveRun ? FinalOutcome.FAILED : FinalOutcome.rejected(retryAfterNs));
     }
 }
--- a/src/main/java/elderseam/core/DuplicateRequests.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -2,106 +2,123 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
-/** Carries out what {@link DuplicateIndex} decides on messages that an operator's key says are the same: journal, answers and times. */
+/**
+ * Handles messages that an operator's deduplication key says are the same: the first is dispatched, the others wait
+ * for its outcome and share it. Confined to the event-loop thread.
+ */
 final class DuplicateRequests {
+    private static final byte[] NO_BODY = {};
+
     private final Journal journal;
     private final Clock clock;
     private final EventLoop loop;
-    private final Map<Byte, Frontend> fronts;
-    private final Metrics figures;
-    private final DuplicateIndex twins = new DuplicateIndex();
+    private final Map<Byte, Frontend> frontends;
+    private final Metrics metrics;
+    private final DuplicateIndex index = new DuplicateIndex();
 
-    DuplicateRequests(Journal journal, Clock clock, EventLoop loop, Map<Byte, Frontend> fronts, Metrics figures) {
+    DuplicateRequests(Journal journal, Clock clock, EventLoop loop, Map<Byte, Frontend> frontends, Metrics metrics) {
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
-        this.fronts = fronts;
-        this.figures = figures;
+        this.frontends = frontends;
+        this.metrics = metrics;
     }
 
-    /** It is the first of its key. */
-    void leads(ActiveRequest s) {
-        twins.leads(s);
+    /** The request is the first in flight with its key. */
+    void lead(ActiveRequest first) {
+        index.lead(first);
     }
 
-    /** The message under way that has one of these keys, or null. */
-    ActiveRequest first(String same, List<String> also) {
-        return twins.first(same, also);
+    /** The first request in flight that has one of these keys. */
+    Optional<ActiveRequest> first(String key, List<String> alternateKeys) {
+        return index.first(key, alternateKeys);
     }
 
-    /** How one with one of these keys ended, or null. */
-    FinalOutcome answerOf(String same, List<String> also) {
-        FinalOutcome a = journal.answerOf(same);
-        for (int i = 0; a == null && i < also.size(); i++) {
-            a = journal.answerOf(also.get(i));
+    /** The remembered outcome of a message with one of these keys. */
+    Optional<FinalOutcome> outcome(String key, List<String> alternateKeys) {
+        Optional<FinalOutcome> outcome = journal.outcomeOfKey(key);
+        for (int i = 0; outcome.isEmpty() && i < alternateKeys.size(); i++) {
+            outcome = journal.outcomeOfKey(alternateKeys.get(i));
         }
-        return a;
+        return outcome;
     }
 
-    int size() {
-        return twins.size();
+    /** How many messages wait for another's outcome. */
+    int waiting() {
+        return index.waiting();
     }
 
-    boolean waits(String id) {
-        return twins.waits(id);
+    /** Whether the message with that id waits for another's outcome. */
+    boolean isWaiting(String id) {
+        return index.isWaiting(id);
     }
 
-    /** It waits for the end of that one from now on, journalled before anybody is told so; false where there is no room for that. */
-    boolean join(ActiveRequest.Message m, ActiveRequest first) {
-        ActiveRequest.Message copy = new ActiveRequest.Message(
-                m.id(),
-                m.front(),
-                m.cls(),
-                m.tenant(),
-                m.destination(),
-                m.deadline(),
-                m.rememberUntil(),
-                m.again(),
-                m.heedsWindow(),
-                "",
-                new byte[0],
-                first.message.same()); // nobody will send it
-        if (!journal.joined(copy)) {
+    /** Has a message wait for that request's outcome, journalled first; false where the journal has no capacity. */
+    boolean join(ActiveRequest.Message message, ActiveRequest first) {
+        ActiveRequest.Message duplicate = withoutBody(message, first.message.deduplicationKey());
+        if (!journal.acceptedDuplicate(duplicate)) {
             return false;
         }
-        waits(copy, first);
+        await(duplicate, first);
         return true;
     }
 
-    private void waits(ActiveRequest.Message copy, ActiveRequest first) {
-        twins.joins(copy, first);
-        long left = copy.deadline() - clock.now();
-        loop.at(copy.deadline() - Math.min(RequestDispatcher.TELLING_NS, Math.max(0, left / 2)), () -> {
-            FinalOutcome answer = twins.expired(copy, RequestDispatcher.ROOM_AGAIN_NS);
-            if (answer != null) {
-                end(copy, answer);
-                fronts.get(copy.front()).tell();
-            }
+    /** Nobody will send a duplicate, so its body need not be kept. */
+    private static ActiveRequest.Message withoutBody(ActiveRequest.Message message, String deduplicationKey) {
+        return new ActiveRequest.Message(
+                message.id(),
+                message.frontend(),
+                message.classIndex(),
+                message.tenantIndex(),
+                message.destination(),
+                message.deadline(),
+                message.rememberUntil(),
+                message.resubmitted(),
+                message.retriesWithinKeyWindow(),
+                "",
+                NO_BODY,
+                deduplicationKey);
+    }
+
+    private void await(ActiveRequest.Message duplicate, ActiveRequest first) {
+        index.join(duplicate, first);
+        loop.at(duplicate.latestOutcome(clock.now()), () -> expire(duplicate));
+    }
+
+    private void expire(ActiveRequest.Message duplicate) {
+        index.expire(duplicate, RequestDispatcher.CAPACITY_RETRY_AFTER_NS).ifPresent(outcome -> {
+            complete(duplicate, outcome);
+            frontends.get(duplicate.frontend()).flushNotifications();
         });
     }
 
-    /** Those that waited when the process ended: they wait on, or have that end, or the first was refused, and so are they. */
+    /**
+     * Takes back those that waited when the process ended: they wait on while the first is in flight, share its
+     * remembered outcome, or are rejected as it was.
+     */
     void recover() {
-        for (ActiveRequest.Message m : journal.joined()) {
-            ActiveRequest first = twins.first(m.same(), List.of());
-            if (first != null) {
-                waits(m, first);
+        for (ActiveRequest.Message duplicate : journal.waitingDuplicates()) {
+            String key = duplicate.deduplicationKey();
+            Optional<ActiveRequest> first = index.first(key, List.of());
+            if (first.isPresent()) {
+                await(duplicate, first.get());
             } else {
-                FinalOutcome known = journal.answerOf(m.same());
-                end(m, known == null ? FinalOutcome.refused(RequestDispatcher.ROOM_AGAIN_NS) : known);
+                FinalOutcome rejected = FinalOutcome.rejected(RequestDispatcher.CAPACITY_RETRY_AFTER_NS);
+                complete(duplicate, journal.outcomeOfKey(key).orElse(rejected));
             }
         }
     }
 
-    /** The end of the first is that of all its copies. */
-    void ended(ActiveRequest first, FinalOutcome answer) {
-        twins.ended(first).forEach(m -> end(m, answer));
+    /** The request's outcome is that of all its duplicates. */
+    void complete(ActiveRequest first, FinalOutcome outcome) {
+        index.complete(first).forEach(duplicate -> complete(duplicate, outcome));
     }
 
-    private void end(ActiveRequest.Message m, FinalOutcome answer) {
-        figures.ended(m.cls(), answer);
-        journal.ended(m, answer, true);
-        fronts.get(m.front()).ended(m, answer);
+    private void complete(ActiveRequest.Message duplicate, FinalOutcome outcome) {
+        metrics.requestCompleted(duplicate.classIndex(), outcome);
+        journal.completed(duplicate, outcome, true);
+        frontends.get(duplicate.frontend()).completed(duplicate, outcome);
     }
 }
--- a/src/main/java/elderseam/core/EventLoop.java
+++ b/src/main/java/elderseam/core/EventLoop.java
@@ -1,13 +1,18 @@
 package elderseam.core;
 
-/** The thread that owns core and module, as the core sees it. */
+/** The thread that the dispatcher and the policy are confined to. All methods are called on that thread. */
 public interface EventLoop {
-    /** Runs a task on the owning thread, at that time or soon after. */
+    /** Runs a task on the thread, at that time of {@link Clock#now} or soon after. */
     void at(long time, Runnable task);
 
-    /** Runs a task once all that has arrived by now has been read; what is read may come before it. */
+    /**
+     * Runs a task once everything that has arrived by now has been read; the handlers of what is read may run before
+     * it.
+     */
     void afterReading(Runnable task);
 
-    /** Whether the thread was away, and has not yet read what arrived meanwhile: nothing is to be decided now. */
-    boolean late();
+    /**
+     * Whether the thread was stalled and has not yet read what arrived meanwhile, so that nothing may be decided now.
+     */
+    boolean isStalled();
 }
--- a/src/main/java/elderseam/core/JournalFiles.java
+++ b/src/main/java/elderseam/core/FileJournalStore.java
@@ -8,27 +8,34 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
-/** The journal's file in a folder, and the one that is written to take its place. */
-final class JournalFiles implements JournalStore {
+/**
+ * The journal's file in a folder, and the fresh one that is written to take its place. Confined to the event-loop
+ * thread.
+ */
+final class FileJournalStore implements JournalStore {
+    private static final String NAME = "journal";
+    private static final String FRESH_NAME = "journal.new";
+
     private final Path file;
     private FileChannel channel;
 
-    JournalFiles(Path folder) throws IOException {
-        this(folder.resolve("journal"), false);
-        Files.deleteIfExists(spare());
+    /** Opens the journal of a folder, which is created where there is none; deletes an unfinished fresh file. */
+    FileJournalStore(Path folder) throws IOException {
+        this(folder.resolve(NAME), false);
+        Files.deleteIfExists(freshFile());
     }
 
-    private JournalFiles(Path file, boolean fresh) throws IOException {
+    private FileJournalStore(Path file, boolean truncate) throws IOException {
         this.file = file;
         Files.createDirectories(file.getParent());
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        if (fresh) {
+        if (truncate) {
             channel.truncate(0);
         }
     }
 
-    private Path spare() {
-        return file.resolveSibling("journal.new");
+    private Path freshFile() {
+        return file.resolveSibling(FRESH_NAME);
     }
 
     @Override
@@ -37,15 +44,15 @@
     }
 
     @Override
-    public int read(ByteBuffer to, long at) throws IOException {
-        return channel.read(to, at);
+    public int read(ByteBuffer target, long offset) throws IOException {
+        return channel.read(target, offset);
     }
 
     @Override
-    public void write(byte[] bytes, long at) throws IOException {
-        ByteBuffer b = ByteBuffer.wrap(bytes);
-        while (b.hasRemaining()) {
-            channel.write(b, at + b.position());
+    public void write(byte[] bytes, long offset) throws IOException {
+        ByteBuffer source = ByteBuffer.wrap(bytes);
+        while (source.hasRemaining()) {
+            channel.write(source, offset + source.position());
         }
     }
 
@@ -56,19 +63,19 @@
 
     @Override
     public JournalStore aside(String name) throws IOException {
-        return new JournalFiles(file.resolveSibling(name), false);
+        return new FileJournalStore(file.resolveSibling(name), false);
     }
 
     @Override
     public JournalStore fresh() throws IOException {
-        return new JournalFiles(spare(), true);
+        return new FileJournalStore(freshFile(), true);
     }
 
     @Override
     public void replace(JournalStore fresh) throws IOException {
-        Files.move(spare(), file, StandardCopyOption.ATOMIC_MOVE);
+        Files.move(freshFile(), file, StandardCopyOption.ATOMIC_MOVE);
         channel.close();
-        channel = ((JournalFiles) fresh).channel;
+        channel = ((FileJournalStore) fresh).channel;
     }
 
     @Override
--- a/src/main/java/elderseam/core/Frontend.java
+++ b/src/main/java/elderseam/core/Frontend.java
@@ -1,10 +1,10 @@
 package elderseam.core;
 
-/** The side that took a stream on, and owes its client the final answer. */
+/** The side that accepted a request and owes its client the final outcome. Called on the event-loop thread. */
 public interface Frontend {
-    /** The stream has ended, after {@link RequestDispatcher#take} had taken it on. */
-    void ended(ActiveRequest.Message message, FinalOutcome answer);
+    /** A request that {@link RequestDispatcher#submit} had accepted has its final outcome. */
+    void completed(ActiveRequest.Message message, FinalOutcome outcome);
 
-    /** No further stream ends just now: what its clients are to hear may leave, before any call that begins. */
-    default void tell() {}
+    /** No further request completes just now: pending notifications may be sent, before any attempt that begins. */
+    default void flushNotifications() {}
 }
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -1,10 +1,7 @@
 package elderseam.core;
 
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
-import elderseam.policy.Sender;
-import java.io.IOException;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,42 +10,49 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** A relay's work on its way from one process to the next: what the older one passes on, and what the newer one makes of it. */
+/**
+ * The transfer of a dispatcher's work to the next process: what the older process passes on, and what the newer one
+ * makes of it. The older one keeps the sockets of its attempts in flight and forwards their outcomes. Confined to the
+ * event-loop thread.
+ */
 public final class Handover {
-    /** A call that is out at another process, which has passed its work on. */
-    public record Out(String id, int attempt, String host, long agoNs) {}
+    /** An attempt that is in flight in the process that has passed its work on, since {@code ageNs} nanoseconds. */
+    public record InFlightAttempt(String requestId, int attempt, String endpoint, long ageNs) {}
 
-    /** What this process still hears of a call, after it has passed its work on; {@code late}: after it had given the call up. */
-    public record Passed(String id, int attempt, String host, boolean late, End end) {}
-
-    /** All that the next process needs besides the journal. */
-    public record Estate(byte[] learned, List<Out> out) {}
+    /**
+     * The outcome of an attempt, forwarded by the process that began it.
+     *
+     * @param late whether the response came after that process had cancelled the attempt
+     */
+    public record ForwardedOutcome(
+            String requestId, int attempt, String endpoint, boolean late, AttemptOutcome outcome) {}
 
-    private static final long LEAST_DISK = 1 << 20;
-    private static final String LEARNED = "learned";
-    private static final int LAYOUT = 1; // of the ledger that the module writes; another one is not read
-    private static final long KEEP_NS = 1_000 * Clock.MS;
+    /** All that the next process needs besides the journal: the policy's state and the attempts in flight. */
+    public record State(byte[] policySnapshot, List<InFlightAttempt> inFlight) {}
 
-    private final RequestDispatcher relay;
+    private final RequestDispatcher dispatcher;
     private final AttemptTracker attempts;
-    private final PolicyFacade facade;
+    private final PolicyFacade policy;
     private final Journal journal;
     private final Clock clock;
     private final EventLoop loop;
-    private PolicySnapshotStore learned;
-    private final Set<String> adopted = new HashSet<>(); // out at the process before this one
-    private Consumer<Passed> successor; // once another process has taken over: it decides, this one tells it
+
+    /** Ids of the requests whose attempt is in flight in the process before this one. */
+    private final Set<String> adopted = new HashSet<>();
+
+    /** Once another process decides, receives what this one hears of its attempts; null before. */
+    private Consumer<ForwardedOutcome> successor;
 
     Handover(
-            RequestDispatcher relay,
+            RequestDispatcher dispatcher,
             AttemptTracker attempts,
-            PolicyFacade facade,
+            PolicyFacade policy,
             Journal journal,
             Clock clock,
             EventLoop loop) {
-        this.relay = relay;
+        this.dispatcher = dispatcher;
         this.attempts = attempts;
-        this.facade = facade;
+        this.policy = policy;
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
@@ -57,174 +61,137 @@
     // ---------------------------------------------------------------- the older process
 
     /**
-     * Passes all work on to another process: nothing is decided, begun or written here any more, and what is still heard of the
-     * calls that are out is told to it. {@link #keep} takes that back.
+     * Transfers all work to another process: from now on nothing is decided, begun or written here, and the outcomes
+     * of the attempts in flight are forwarded to {@code successor}. {@link #takeBack} undoes that.
      */
-    public Estate passOn(Consumer<Passed> to) {
-        PolicySnapshotCodec.Writer learned = new PolicySnapshotCodec.Writer(clock);
-        facade.carry(clock.now(), learned);
-        List<Out> calls = new ArrayList<>();
-        relay.streams()
-                .filter(s -> s.out != null)
-                .forEach(s -> calls.add(new Out(s.id(), s.leg.number, s.leg.host, clock.now() - s.leg.start)));
-        successor = to;
-        journal.letGo();
-        return new Estate(learned.bytes(), calls);
+    public State transferTo(Consumer<ForwardedOutcome> successor) {
+        PolicySnapshotCodec.Writer snapshot = new PolicySnapshotCodec.Writer(clock);
+        policy.transferState(clock.now(), snapshot);
+        List<InFlightAttempt> inFlight = new ArrayList<>();
+        for (ActiveRequest request : dispatcher.requests()) {
+            if (request.inFlightCall != null) {
+                AttemptTracker.ActiveAttempt attempt = request.lastAttempt;
+                long age = clock.now() - attempt.start;
+                inFlight.add(new InFlightAttempt(request.id(), attempt.number, attempt.endpoint, age));
+            }
+        }
+        this.successor = successor;
+        journal.suspend();
+        return new State(snapshot.bytes(), inFlight);
     }
 
     /** Whether another process decides. */
-    boolean passedOn() {
+    boolean isTransferred() {
         return successor != null;
     }
 
-    /** Tells the process that decides, where that is another one. */
-    boolean tell(ActiveRequest s, AttemptTracker.Leg leg, boolean late, End end) {
-        if (successor != null) {
-            successor.accept(new Passed(s.id(), leg.number, leg.host, late, end));
+    /** Forwards an outcome to the process that decides; false where that is this one. */
+    boolean forward(ActiveRequest request, AttemptTracker.ActiveAttempt attempt, boolean late, AttemptOutcome outcome) {
+        if (successor == null) {
+            return false;
         }
-        return successor != null;
-    }
-
-    /** The other process has failed before it took over; {@code heard}: what it had been told of calls counts here. */
-    public void keep(List<Passed> heard) {
-        successor = null;
-        journal.resume();
-        heard.forEach(p -> {
-            ActiveRequest s = relay.stream(p.id());
-            if (p.late()) {
-                facade.reportLate(clock.now(), p.host(), p.end());
-            } else if (s != null && s.leg != null && s.leg.number == p.attempt()) {
-                s.leg.ended(p.end());
-            }
-        });
-        relay.turnAgain();
-    }
-
-    /** Gives a call up that another process decides on. */
-    public void abandon(String id, int attempt) {
-        AttemptTracker.abandon(relay.stream(id), attempt);
-    }
-
-    // ---------------------------------------------------------------- over a crash
-
-    /** What is set aside, of so much disk, for what is learned; nothing of a disk that is small for the journal itself. */
-    public static int aside(long diskBytes) {
-        return diskBytes < LEAST_DISK ? 0 : PolicySnapshotStore.MOST;
+        successor.accept(new ForwardedOutcome(request.id(), attempt.number, attempt.endpoint, late, outcome));
+        return true;
     }
 
     /**
-     * Takes up what an earlier process on this folder had learned less than a minute ago, before the first list, and keeps what
-     * this one learns from now on, once a second. A told wait ended with that process: what it had taken on and not tried is tried.
+     * Takes all work back from a process that failed before it took over; {@code forwarded}: what it had been sent.
      */
-    public void remember() {
-        try {
-            byte[] kept = new PolicySnapshotStore(journal.aside(LEARNED), shape()).kept();
-            PolicySnapshotCodec.Reader reader = kept == null ? null : new PolicySnapshotCodec.Reader(kept, clock, true);
-            if (reader != null && reader.agoNs >= 0 && reader.agoNs < PolicySnapshotStore.FRESH_NS) {
-                facade.carry(clock.now(), reader);
+    public void takeBack(List<ForwardedOutcome> forwarded) {
+        successor = null;
+        journal.resume();
+        for (ForwardedOutcome message : forwarded) {
+            ActiveRequest request = dispatcher.request(message.requestId());
+            if (message.late()) {
+                policy.answeredLate(clock.now(), message.endpoint(), message.outcome());
+            } else if (isLastAttempt(request, message)) {
+                request.lastAttempt.ended(message.outcome());
             }
-        } catch (IOException e) {
-            System.err.println("what was learned is not taken up: " + e);
         }
-        keepOn();
-    }
-
-    /** The same for a process that has taken over from one that lived: it has all of that by {@link #takeOver}. */
-    public void keepOn() {
-        try {
-            learned = new PolicySnapshotStore(journal.aside(LEARNED), shape());
-            loop.at(clock.now() + KEEP_NS, this::keepLearned);
-        } catch (IOException e) {
-            System.err.println("what was learned is not kept: " + e);
-        }
-    }
-
-    private int shape() {
-        Sender.Settings s = facade.settings();
-        return LAYOUT << 24
-                | s.classes().size() << 16
-                | s.kinds().size() << 8
-                | s.tenantRates().size();
+        dispatcher.resume();
     }
 
-    private void keepLearned() {
-        if (!passedOn()) {
-            PolicySnapshotCodec.Writer writer = new PolicySnapshotCodec.Writer(clock);
-            facade.carry(clock.now(), writer);
-            try {
-                learned.keep(writer.bytes());
-            } catch (IOException e) {
-                System.err.println("what was learned is not kept: " + e);
-                return;
-            }
-        }
-        loop.at(clock.now() + KEEP_NS, this::keepLearned);
+    /** Cancels an attempt on behalf of the process that decides. */
+    public void cancelAttempt(String requestId, int attempt) {
+        dispatcher.cancelAttempt(requestId, attempt);
     }
 
     // ---------------------------------------------------------------- the newer process
 
-    /** The streams whose calls are out at the process before this one. */
+    /** Ids of the requests whose attempts are in flight in the process before this one. */
     Set<String> adopted() {
         return adopted;
     }
 
     /**
-     * Takes over from another process, before {@link RequestDispatcher#recover}: what its module has learned, and its calls that are still
-     * out; {@code abandon} asks it to give one up.
+     * Takes over from another process, before {@link RequestDispatcher#recover}: its policy's state and its attempts
+     * in flight.
+     *
+     * @param cancel asks the other process to cancel an attempt
      */
-    public void takeOver(Estate estate, Consumer<Out> abandon) {
-        facade.carry(clock.now(), new PolicySnapshotCodec.Reader(estate.learned(), clock, false));
-        Map<String, Out> calls = new HashMap<>();
-        estate.out().forEach(o -> calls.put(o.id(), o));
-        for (ActiveRequest s : journal.out(calls.keySet())) {
-            Out o = calls.get(s.id());
-            if (s.attempts - 1 != o.attempt()) {
-                continue;
+    public void takeOver(State state, Consumer<InFlightAttempt> cancel) {
+        policy.transferState(clock.now(), new PolicySnapshotCodec.Reader(state.policySnapshot(), clock, false));
+        Map<String, InFlightAttempt> inFlight = new HashMap<>();
+        state.inFlight().forEach(attempt -> inFlight.put(attempt.requestId(), attempt));
+        for (ActiveRequest request : journal.unfinishedOf(inFlight.keySet())) {
+            InFlightAttempt attempt = inFlight.get(request.id());
+            if (request.attempts - 1 == attempt.attempt()) {
+                adopt(request, attempt, cancel);
             }
-            adopted.add(s.id());
-            relay.takenBack(s);
-            facade.take(clock.now(), s);
-            long start = clock.now() - o.agoNs();
-            facade.adopt(clock.now(), s, o.host(), start);
-            AttemptTracker.Leg leg = attempts.out(s, o.attempt(), o.host(), start);
-            s.out = () -> abandon.accept(o);
-            // told in time even where the other process falls silent
-            loop.at(
-                    Math.max(clock.now(), s.message.deadline() - RequestDispatcher.TELLING_NS / 2),
-                    () -> unheard(s, leg));
         }
     }
 
-    /** The other process tells of a call that it had out. */
-    public void passed(Passed p) {
-        ActiveRequest s = relay.stream(p.id());
-        if (p.late()) {
-            if (s != null && s.leg != null && s.leg.number == p.attempt()) {
-                s.leg.answeredLate(p.end());
+    private void adopt(ActiveRequest request, InFlightAttempt inFlight, Consumer<InFlightAttempt> cancel) {
+        adopted.add(request.id());
+        dispatcher.restore(request);
+        policy.submit(clock.now(), request);
+        long start = clock.now() - inFlight.ageNs();
+        policy.adopt(clock.now(), request, inFlight.endpoint(), start);
+        AttemptTracker.ActiveAttempt attempt = attempts.track(request, inFlight.attempt(), inFlight.endpoint(), start);
+        request.inFlightCall = () -> cancel.accept(inFlight);
+        // the client is notified in time even where the other process falls silent
+        long giveUpAt = request.message.deadline() - ActiveRequest.NOTIFICATION_RESERVE_NS / 2;
+        loop.at(Math.max(clock.now(), giveUpAt), () -> giveUp(request, attempt));
+    }
+
+    /** Takes an outcome that the other process forwards. */
+    public void outcomeForwarded(ForwardedOutcome message) {
+        ActiveRequest request = dispatcher.request(message.requestId());
+        boolean last = isLastAttempt(request, message);
+        if (message.late()) {
+            if (last) {
+                request.lastAttempt.answeredLate(message.outcome());
             } else {
-                facade.reportLate(clock.now(), p.host(), p.end());
-                relay.answered();
+                policy.answeredLate(clock.now(), message.endpoint(), message.outcome());
+                dispatcher.attemptEnded();
             }
-        } else if (s != null && s.out != null && s.leg.number == p.attempt() && adopted.remove(p.id())) {
-            s.leg.ended(p.end());
+        } else if (last && request.inFlightCall != null && adopted.remove(message.requestId())) {
+            request.lastAttempt.ended(message.outcome());
         }
     }
 
-    /** The other process has gone: the calls that it has not told of may have run. */
-    public void unheard() {
-        List.copyOf(adopted).forEach(id -> {
-            ActiveRequest s = relay.stream(id);
-            if (s != null) {
-                unheard(s, s.leg);
+    /** The other process has gone: the attempts without a forwarded outcome may have run. */
+    public void predecessorGone() {
+        for (String id : List.copyOf(adopted)) {
+            ActiveRequest request = dispatcher.request(id);
+            if (request != null) {
+                giveUp(request, request.lastAttempt);
             }
-        });
+        }
         adopted.clear();
     }
 
-    /** Its host did nothing for that, so it is not held against it. */
-    private void unheard(ActiveRequest s, AttemptTracker.Leg leg) {
-        if (s.out != null && s.leg == leg && adopted.remove(s.id())) {
-            leg.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
+    /**
+     * Ends an adopted attempt of unknown outcome; its endpoint did nothing wrong, so that does not count against it.
+     */
+    private void giveUp(ActiveRequest request, AttemptTracker.ActiveAttempt attempt) {
+        boolean current = request.inFlightCall != null && request.lastAttempt == attempt;
+        if (current && adopted.remove(request.id())) {
+            attempt.ended(AttemptOutcome.unanswered(Progress.WRITTEN, Status.ABANDONED));
         }
     }
+
+    private static boolean isLastAttempt(ActiveRequest request, ForwardedOutcome message) {
+        return request != null && request.lastAttempt != null && request.lastAttempt.number == message.attempt();
+    }
 }
--- a/src/main/java/elderseam/core/InMemoryJournalStore.java
+++ b/src/main/java/elderseam/core/InMemoryJournalStore.java
@@ -5,10 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A journal's bytes in memory, for a process that is emulated or thrown away. Not thread-safe. */
+/** A journal's bytes in memory, for a process that is emulated or thrown away; they outlast {@link #close}. Not thread-safe. */
 public class InMemoryJournalStore implements JournalStore {
+    private static final int INITIAL_BYTES = 1 << 12;
+
     private final Map<String, InMemoryJournalStore> aside = new LinkedHashMap<>();
-    private byte[] bytes = new byte[1 << 12];
+    private byte[] bytes = new byte[INITIAL_BYTES];
     private int length;
 
     @Override
@@ -17,33 +19,33 @@
     }
 
     @Override
-    public int read(ByteBuffer to, long at) {
-        int n = (int) Math.min(to.remaining(), length - at);
-        if (n <= 0) {
+    public int read(ByteBuffer target, long offset) {
+        int count = (int) Math.min(target.remaining(), length - offset);
+        if (count <= 0) {
             return -1;
         }
-        to.put(bytes, (int) at, n);
-        return n;
+        target.put(bytes, (int) offset, count);
+        return count;
     }
 
     @Override
-    public void write(byte[] record, long at) {
-        int end = (int) at + record.length;
+    public void write(byte[] record, long offset) {
+        int end = (int) offset + record.length;
         if (end > bytes.length) {
             bytes = Arrays.copyOf(bytes, Math.max(end, 2 * bytes.length));
         }
-        System.arraycopy(record, 0, bytes, (int) at, record.length);
+        System.arraycopy(record, 0, bytes, (int) offset, record.length);
         length = Math.max(length, end);
     }
 
     @Override
-    public void truncate(long to) {
-        length = (int) Math.min(length, to);
+    public void truncate(long newLength) {
+        length = (int) Math.min(length, newLength);
     }
 
     @Override
     public JournalStore aside(String name) {
-        return aside.computeIfAbsent(name, n -> new InMemoryJournalStore());
+        return aside.computeIfAbsent(name, absent -> new InMemoryJournalStore());
     }
 
     @Override
@@ -53,8 +55,9 @@
 
     @Override
     public void replace(JournalStore fresh) {
-        bytes = ((InMemoryJournalStore) fresh).bytes;
-        length = ((InMemoryJournalStore) fresh).length;
+        InMemoryJournalStore other = (InMemoryJournalStore) fresh;
+        bytes = other.bytes;
+        length = other.length;
     }
 
     @Override
@@ -64,6 +67,6 @@
 
     @Override
     public void close() {
-        // stays, for the next process
+        // the bytes stay, for the next process
     }
 }
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -1,435 +1,227 @@
 package elderseam.core;
 
-import static elderseam.core.JournalRecords.HEAD;
-import static elderseam.core.JournalRecords.encode;
-
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * What must outlast the process: each message taken on, its attempts, its end, and whether that was told. One file of
- * records (length, checksum, content), appended to; a torn tail is cut off. When it has grown, what still counts is
- * written to a new file that takes its place, so the two together must stay under the cap: half of it, less a margin,
- * is what may count at any time. A message for which there is no room is not taken on.
+ * What must outlast the process: each accepted message, its attempts, its outcome, and whether the client was
+ * notified of that. Written to an append-only {@link JournalLog}, and held in memory by a {@link JournalIndex}. The
+ * log and its compacted successor exist together for a moment, so that what is live may take at most half of the
+ * capacity; a message for which there is no capacity is not accepted. A record that cannot be written is logged.
+ * Confined to the event-loop thread.
  */
 public final class Journal implements AutoCloseable {
-    private static final int MARGIN = 16 << 10;
-    private static final byte[] NONE = {};
+    /** Bytes of the capacity that are left free. */
+    private static final int MARGIN_BYTES = 16 << 10;
+
+    private static final byte[] NO_RECORD = {};
 
     private final JournalStore store;
-    private final long cap;
+    private final long capacity;
     private final Clock clock;
-    private final Map<String, JournalEntry> entries = new LinkedHashMap<>();
-    private final JournalKeys keys = new JournalKeys();
-    private final Set<String> detached = new LinkedHashSet<>();
-    private long detachedBytes;
-    private long size;
-    private long live;
-    private boolean letGo; // another process has it
-    private int sweepAt = 1_024; // entries, at which those no longer kept are looked for
-
-    public Journal(Path folder, long capBytes, Clock clock) throws IOException {
-        this(new JournalFiles(folder), capBytes, clock);
+    private final JournalIndex index;
+    private final JournalLog log;
+
+    /** A journal of at most {@code capacityBytes} in a folder, which is created where there is none. */
+    public Journal(Path folder, long capacityBytes, Clock clock) throws IOException {
+        this(new FileJournalStore(folder), capacityBytes, clock);
     }
 
-    /** On a store of another kind. */
-    public Journal(JournalStore store, long capBytes, Clock clock) throws IOException {
+    /** A journal of at most {@code capacityBytes} in any store; reads what an earlier process left in it. */
+    public Journal(JournalStore store, long capacityBytes, Clock clock) throws IOException {
         this.store = store;
-        this.cap = capBytes - MARGIN;
+        this.capacity = capacityBytes - MARGIN_BYTES;
         this.clock = clock;
-        replay();
+        this.index = new JournalIndex(clock);
+        this.log = new JournalLog(store, capacity, clock, index);
     }
 
-    /** What is kept beside the journal under that name. */
+    /** A store beside the journal's, under that name. */
     JournalStore aside(String name) throws IOException {
         return store.aside(name);
     }
 
-    // ---------------------------------------------------------------- what is told
+    // ---------------------------------------------------------------- messages
 
-    /** False where there is no room: then nothing was written. */
-    public boolean taken(ActiveRequest.Message m) {
-        byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
-        byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
-        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap
-                || key.length > 0 && !append(key)
-                || !append(record)) {
+    /** Records an accepted message; false where there is no capacity, and nothing was written. */
+    public boolean accepted(ActiveRequest.Message message) {
+        byte[] record = JournalRecordEncoder.accepted(
+                message, clock.toWall(message.deadline()), clock.toWall(message.rememberUntil()));
+        byte[] key = message.hasDeduplicationKey()
+                ? JournalRecordEncoder.deduplicationKey(message.id(), message.deduplicationKey())
+                : NO_RECORD;
+        int bytes = record.length + key.length;
+        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES)) {
             return false;
         }
-        keys.put(m.id(), m.same());
-        put(m, record.length + key.length);
-        return true;
-    }
-
-    /** Taken on as the same as another message, for whose end it waits; its body is not kept. False where there is no room. */
-    public boolean joined(ActiveRequest.Message m) {
-        byte[] record = JournalRecords.joined(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
-        if (2 * (live + record.length + JournalEntry.BOOKKEEPING) > cap || !append(record)) {
+        if ((key.length > 0 && !log.append(key)) || !log.append(record)) {
             return false;
         }
-        put(m, record.length);
-        entries.get(m.id()).joined = true;
+        index.deduplicationKey(message.id(), message.deduplicationKey());
+        index.accepted(message, bytes);
         return true;
     }
 
-    /** Keeps what is needed to tell keys of that scheme again, for as long as one is remembered; false where there is no room. */
-    public boolean scheme(String name, byte[] text) {
-        byte[] record = JournalRecords.scheme(name, text);
-        if (keys.has(name, text)) {
-            keys.current(name, text);
-            return true;
-        }
-        if (2 * (live + record.length) > cap || !append(record)) {
+    /**
+     * Records an accepted message that waits for the outcome of another with its key; false where there is no
+     * capacity.
+     */
+    public boolean acceptedDuplicate(ActiveRequest.Message message) {
+        byte[] record = JournalRecordEncoder.acceptedDuplicate(
+                message, clock.toWall(message.deadline()), clock.toWall(message.rememberUntil()));
+        if (!hasCapacity(record.length + JournalEntry.RESERVED_BYTES) || !log.append(record)) {
             return false;
         }
-        keys.current(name, text);
-        live += record.length;
+        index.acceptedDuplicate(message, record.length);
         return true;
     }
 
-    /** An operator takes a host out of use, or gives it back; false where there is no room for that. */
-    boolean detach(String host, boolean out) {
-        byte[] record = JournalRecords.detached(host, out);
-        if (detached.contains(host) == out) {
-            return true;
-        }
-        if (out && 2 * (live + record.length) > cap || !append(record)) {
-            return false;
-        }
-        detached(host, out, record.length);
-        return true;
-    }
-
-    private void detached(String host, boolean out, int bytes) {
-        if (out ? detached.add(host) : detached.remove(host)) {
-            live += out ? bytes : -bytes;
-            detachedBytes += out ? bytes : -bytes;
-        }
-    }
-
-    /** The hosts that are taken out of use. */
-    Set<String> detached() {
-        return Set.copyOf(detached);
-    }
-
-    /** No scheme yields keys any more. */
-    public void noScheme() {
-        keys.none();
-    }
-
-    /** The schemes of which keys are remembered, or that were kept last, with their texts. */
-    public Map<String, byte[]> schemes() {
-        sweep();
-        return keys.schemes();
-    }
-
-    private void put(ActiveRequest.Message m, int bytes) {
-        JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
-        e.message = m;
-        e.size = bytes;
-        put(m.id(), e);
-    }
-
-    private void put(String id, JournalEntry e) {
-        JournalEntry old = entries.put(id, e);
-        live += e.weight() - (old == null ? 0 : old.weight());
+    private boolean hasCapacity(int moreBytes) {
+        return 2 * (index.liveBytes() + moreBytes) <= capacity;
     }
 
-    /** An attempt is about to leave; false where that could not be written. */
-    public boolean sent(String id) {
-        long now = clock.wallMs();
-        if (!append(encode(JournalRecords.SENT, id, out -> out.writeLong(now)))) {
+    /** Records that an attempt is about to be sent; false where that could not be written. */
+    public boolean attemptBegins(String id) {
+        long wallMs = clock.wallMs();
+        if (!log.append(JournalRecordEncoder.attemptBegan(id, wallMs))) {
             return false;
         }
-        known(id).ifPresent(e -> e.sent(now));
+        index.attemptBegan(id, wallMs);
         return true;
     }
 
-    private Optional<JournalEntry> known(String id) {
-        return Optional.ofNullable(entries.get(id));
+    /** Records the end of the attempt in flight. */
+    public void attemptEnded(String id, boolean mayHaveRun) {
+        log.append(JournalRecordEncoder.attemptEnded(id, mayHaveRun));
+        index.attemptEnded(id, mayHaveRun);
     }
 
-    public void result(String id, boolean mayHaveRun) {
-        append(encode(JournalRecords.RESULT, id, out -> out.writeBoolean(mayHaveRun)));
-        known(id).ifPresent(e -> e.result(mayHaveRun));
+    /** Records the final outcome of a message; {@code acknowledged}: its client waits to be notified. */
+    public void completed(ActiveRequest.Message message, FinalOutcome outcome, boolean acknowledged) {
+        boolean notifies = outcome.isRejection() || outcome.kind() == FinalOutcome.Kind.FAILED;
+        JournalEntry entry = JournalEntry.completed(
+                message.frontend(), clock.toWall(message.rememberUntil()), outcome, acknowledged && notifies);
+        log.append(JournalRecordEncoder.completed(message.id(), entry));
+        index.completed(message.id(), entry);
+        index.sweepIfGrown();
     }
 
-    /** The end of a message; {@code owned}: its client waits to be told. */
-    public void ended(ActiveRequest.Message m, FinalOutcome answer, boolean owned) {
-        boolean owed =
-                owned && (answer.kind() == FinalOutcome.Kind.REFUSED || answer.kind() == FinalOutcome.Kind.FAILED);
-        JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
-        e.answer = answer;
-        e.owed = owed;
-        append(e.end(m.id()));
-        putEnd(m.id(), e);
-        if (entries.size() >= sweepAt) { // not only when the file is full: ids are new for ever
-            sweep();
-            sweepAt = Math.max(1_024, 2 * entries.size());
+    /** Records that the client was notified of the message's outcome, where that was owed. */
+    public void notified(String id) {
+        if (index.owesNotification(id)) {
+            log.append(JournalRecordEncoder.notified(id));
+            index.notified(id);
         }
     }
 
-    private void sweep() {
-        long now = clock.wallMs();
-        entries.entrySet().removeIf(x -> {
-            JournalEntry e = x.getValue();
-            boolean past = e.answer != null && !e.owed && e.keepMs < now;
-            if (past) {
-                keys.remove(x.getKey());
-            }
-            return past;
-        });
-        live = entries.values().stream().mapToLong(JournalEntry::weight).sum() + keys.weight() + detachedBytes;
+    /** The final outcome of a message, where it is remembered. */
+    public Optional<FinalOutcome> outcome(String id) {
+        return index.outcome(id);
     }
 
-    /** A refused message may come again, so its end is not remembered once it is told. */
-    private void putEnd(String id, JournalEntry e) {
-        put(id, e);
-        if (e.answer.kind() == FinalOutcome.Kind.REFUSED && !e.owed) {
-            forget(id);
-        }
+    /**
+     * The final outcome of the last message with that key. Empty after a rejection too: such a message may come
+     * again.
+     */
+    public Optional<FinalOutcome> outcomeOfKey(String deduplicationKey) {
+        return index.outcomeOfKey(deduplicationKey);
     }
 
-    private void forget(String id) {
-        JournalEntry e = entries.remove(id);
-        live -= e == null ? 0 : e.weight();
-        keys.remove(id);
+    /** Whether any message of that frontend is unfinished, or owes its client a notification. */
+    public boolean hasWorkFor(byte frontend) {
+        return index.hasWorkFor(frontend);
     }
 
-    public void told(String id) {
-        JournalEntry e = entries.get(id);
-        if (e != null && e.owed) {
-            append(encode(JournalRecords.TOLD, id, out -> {}));
-            toldOf(id, e);
-        }
-    }
+    // ---------------------------------------------------------------- recovery
 
-    private void toldOf(String id, JournalEntry e) {
-        e.owed = false;
-        if (e.answer != null && e.answer.kind() == FinalOutcome.Kind.REFUSED) {
-            forget(id);
-        }
+    /** The messages that wait for the outcome of another, as an earlier process left them. */
+    List<ActiveRequest.Message> waitingDuplicates() {
+        return index.waitingDuplicates();
     }
 
-    // ---------------------------------------------------------------- what it knows
-
-    /** How a message ended, or null. */
-    public FinalOutcome answer(String id) {
-        JournalEntry e = entries.get(id);
-        return e == null ? null : e.answer;
+    /**
+     * The requests without an outcome, as an earlier process left them, but for those with an attempt in flight
+     * there.
+     */
+    List<ActiveRequest> unfinished(Set<String> inFlight) {
+        return index.unfinished(inFlight);
     }
 
-    /** How a message with that key ended, where that is final: one that was refused may come again. Null for none. */
-    public FinalOutcome answerOf(String same) {
-        FinalOutcome a = keys.id(same) == null ? null : answer(keys.id(same));
-        return a == null || a.kind() == FinalOutcome.Kind.REFUSED ? null : a;
+    /** The requests without an outcome among these, each with an attempt in flight. */
+    List<ActiveRequest> unfinishedOf(Set<String> inFlight) {
+        return index.unfinishedOf(inFlight);
     }
 
-    /** Those that wait for the end of another, as an earlier process left them. */
-    List<ActiveRequest.Message> joined() {
-        return entries.values().stream()
-                .filter(e -> e.joined && e.answer == null)
-                .map(e -> e.message)
-                .toList();
+    /**
+     * The outcomes of which clients are yet to be notified; of their messages only id, frontend and times are kept.
+     */
+    Map<ActiveRequest.Message, FinalOutcome> owedOutcomes() {
+        return index.owedOutcomes();
     }
 
-    /** The messages without an end, as an earlier process left them, but for those whose call it still has out. */
-    List<ActiveRequest> unfinished(Set<String> out) {
-        List<ActiveRequest> back = new ArrayList<>();
-        entries.forEach((id, e) -> {
-            if (e.answer == null && !e.joined && !out.contains(id)) {
-                e.result(e.outMs != 0); // an attempt that was out may have run
-                back.add(back(e));
-            }
-        });
-        return back;
-    }
+    // ---------------------------------------------------------------- operators' settings
 
-    /** Those of these that are unfinished; their calls are out. */
-    List<ActiveRequest> out(Set<String> ids) {
-        return ids.stream()
-                .map(entries::get)
-                .filter(e -> e != null && e.answer == null && !e.joined)
-                .map(this::back)
-                .toList();
-    }
-
-    private ActiveRequest back(JournalEntry e) {
-        ActiveRequest s = new ActiveRequest(e.message);
-        s.attempts = e.attempts;
-        s.mayHaveRun = e.firstRanMs != 0;
-        s.keyUntil = clock.fromWall(e.firstRanMs);
-        return s;
+    /**
+     * Keeps what is needed to compute the keys of that scheme again, for as long as one of them is remembered, and
+     * makes it the current scheme; false where there is no capacity.
+     */
+    public boolean putKeyScheme(String name, byte[] text) {
+        if (index.hasScheme(name, text)) {
+            index.setCurrentScheme(name, text);
+            return true;
+        }
+        byte[] record = JournalRecordEncoder.scheme(name, text);
+        if (!hasCapacity(record.length) || !log.append(record)) {
+            return false;
+        }
+        index.scheme(name, text, record.length);
+        return true;
     }
 
-    /** Whether anything of that front is unfinished or owed. */
-    public boolean owes(byte front) {
-        return entries.values().stream().anyMatch(e -> e.front == front && (e.answer == null || e.owed));
+    /** No scheme yields keys any more. */
+    public void clearCurrentKeyScheme() {
+        index.clearCurrentScheme();
     }
 
-    /** The ends that are yet to be told; the bodies are gone. */
-    Map<ActiveRequest.Message, FinalOutcome> owed() {
-        Map<ActiveRequest.Message, FinalOutcome> owed = new LinkedHashMap<>();
-        entries.forEach((id, e) -> {
-            if (e.owed) {
-                long keep = clock.fromWall(e.keepMs);
-                owed.put(
-                        new ActiveRequest.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "", new byte[0]),
-                        e.answer);
-            }
-        });
-        return owed;
+    /** The current scheme and those of which keys are remembered, with their texts. */
+    public Map<String, byte[]> keySchemes() {
+        index.sweep();
+        return index.schemes();
     }
 
-    // ---------------------------------------------------------------- the file
-
-    private boolean append(byte[] record) {
-        if (letGo) {
-            return false;
-        }
-        try {
-            if (size + record.length + Math.max(0, live) + record.length > cap) {
-                compact();
-            }
-            if (size + record.length > cap) {
-                return false;
-            }
-            store.write(record, size);
-            size += record.length;
+    /** Records the begin or the end of an operator's drain; false where there is no capacity. */
+    boolean setDrained(String endpoint, boolean drained) {
+        if (index.isDrained(endpoint) == drained) {
             return true;
-        } catch (IOException e) {
-            System.err.println("journal: " + e);
-            return false; // what was half written stays behind the end and is written over
         }
-    }
-
-    /** Writes what still counts to a new file, which then takes the place of the old one. */
-    private void compact() throws IOException {
-        sweep();
-        JournalStore fresh = store.fresh();
-        long at = 0;
-        try {
-            for (Map.Entry<String, byte[]> x : keys.schemes().entrySet()) {
-                at = writeAt(fresh, at, JournalRecords.scheme(x.getKey(), x.getValue()));
-            }
-            for (String host : detached) {
-                at = writeAt(fresh, at, JournalRecords.detached(host, true));
-            }
-            for (Map.Entry<String, JournalEntry> x : entries.entrySet()) {
-                for (byte[] record : x.getValue().records(x.getKey(), keys.of(x.getKey()), clock)) {
-                    at = writeAt(fresh, at, record);
-                }
-            }
-            store.replace(fresh);
-        } catch (IOException e) {
-            fresh.discard();
-            throw e;
+        byte[] record = JournalRecordEncoder.drain(endpoint, drained);
+        boolean fits = !drained || hasCapacity(record.length);
+        if (!fits || !log.append(record)) {
+            return false;
         }
-        size = at;
-    }
-
-    private static long writeAt(JournalStore to, long at, byte[] record) throws IOException {
-        to.write(record, at);
-        return at + record.length;
+        index.drain(endpoint, drained, record.length);
+        return true;
     }
 
-    private void replay() throws IOException {
-        size = JournalReader.read(store, this::apply);
-        store.truncate(size);
+    /** The endpoints that an operator drains. */
+    Set<String> drainedEndpoints() {
+        return index.drainedEndpoints();
     }
 
-    private void apply(DataInputStream in, int bytes) throws IOException {
-        byte type = in.readByte();
-        String id = in.readUTF();
-        JournalEntry e = entries.get(id);
-        switch (type) {
-            case JournalRecords.KEYED -> keys.put(id, in.readUTF());
-            case JournalRecords.DETACHED -> detached(id, in.readBoolean(), HEAD + bytes);
-            case JournalRecords.SCHEME -> {
-                byte[] text = new byte[in.readInt()];
-                in.readFully(text);
-                keys.current(id, text);
-                live += HEAD + bytes;
-            }
-            case JournalRecords.TAKEN, JournalRecords.JOINED -> {
-                byte front = in.readByte();
-                int cls = in.readInt();
-                int tenant = in.readInt();
-                long destination = in.readLong();
-                long deadline = clock.fromWall(in.readLong());
-                long keep = clock.fromWall(in.readLong());
-                boolean again = in.readBoolean();
-                boolean heedsWindow = in.readBoolean();
-                String key = in.readUTF();
-                byte[] body = new byte[in.readInt()];
-                in.readFully(body);
-                String same = type == JournalRecords.JOINED ? in.readUTF() : keys.of(id) == null ? "" : keys.of(id);
-                put(
-                        new ActiveRequest.Message(
-                                id,
-                                front,
-                                cls,
-                                tenant,
-                                destination,
-                                deadline,
-                                keep,
-                                again,
-                                heedsWindow,
-                                key,
-                                body,
-                                same),
-                        HEAD + bytes);
-                entries.get(id).joined = type == JournalRecords.JOINED;
-            }
-            case JournalRecords.SENT -> {
-                long at = in.readLong();
-                known(id).ifPresent(x -> x.sent(at));
-            }
-            case JournalRecords.RESULT -> {
-                boolean mayHaveRun = in.readBoolean();
-                known(id).ifPresent(x -> x.result(mayHaveRun));
-            }
-            case JournalRecords.STATE -> {
-                e.attempts = in.readInt();
-                e.firstRanMs = in.readLong();
-                e.outMs = in.readLong();
-            }
-            case JournalRecords.ENDED -> {
-                JournalEntry end = new JournalEntry(in.readByte(), in.readLong());
-                end.answer = new FinalOutcome(FinalOutcome.Kind.values()[in.readByte()], in.readLong());
-                end.owed = in.readBoolean();
-                putEnd(id, end);
-            }
-            case JournalRecords.TOLD -> {
-                if (e != null) {
-                    toldOf(id, e);
-                }
-            }
-            default -> System.err.println("journal: unknown record " + type);
-        }
-    }
+    // ---------------------------------------------------------------- ownership of the file
 
-    /** Another process is to write from now on: nothing more is written here until {@link #resume()}. */
-    public void letGo() {
-        letGo = true;
+    /** Stops writing, since another process writes from now on, until {@link #resume}. */
+    public void suspend() {
+        log.suspend();
     }
 
-    /** The other process has ended. Whatever it did to the file before it owned it, what this one knows takes its place. */
+    /** The other process has ended: replaces whatever it wrote by what this process knows, and writes again. */
     public void resume() {
-        letGo = false;
-        try {
-            compact();
-        } catch (IOException e) {
-            System.err.println("journal: " + e); // the old file stands, and is appended to as before
-        }
+        log.resume();
     }
 
     @Override
--- a/src/main/java/elderseam/core/JournalEntry.java
+++ b/src/main/java/elderseam/core/JournalEntry.java
@@ -1,68 +1,134 @@
 package elderseam.core;
 
-import java.util.ArrayList;
 import java.util.List;
 
-/** What the journal knows of a message. Times are wall-clock milliseconds; 0 is never. */
+/**
+ * What the journal knows of one message. Times are wall-clock milliseconds; 0 is never. Confined to the event-loop
+ * thread.
+ */
 final class JournalEntry {
-    static final int BOOKKEEPING = 512; // kept free for the later records of each unfinished message
-
-    final byte front;
-    final long keepMs;
-    ActiveRequest.Message message; // while unfinished
-    int size; // of its record, likewise
-    int attempts;
-    long firstRanMs, outMs; // first attempt that may have run; the one that is out
-    FinalOutcome answer;
-    boolean owed;
-    boolean joined; // waits for the end of another that has its key
-
-    JournalEntry(byte front, long keepMs) {
-        this.front = front;
-        this.keepMs = keepMs;
+    /** Bytes kept free for the later records of each unfinished message. */
+    static final int RESERVED_BYTES = 512;
+
+    /** What a message with an outcome counts of the journal's capacity, in bytes. */
+    private static final int COMPLETED_BYTES = 160;
+
+    private static final long NEVER = 0;
+
+    final byte frontend;
+    final long keepUntilMs;
+
+    /** Whether it waits for the outcome of another message with its key. */
+    final boolean duplicate;
+
+    /** The message while unfinished; null afterwards. */
+    final ActiveRequest.Message message;
+
+    /** The final outcome, or null while unfinished. */
+    final FinalOutcome outcome;
+
+    /** Whether the client is yet to be notified of the outcome. */
+    boolean notificationOwed;
+
+    private final int recordBytes;
+    private int attempts;
+    private long firstMayHaveRunMs = NEVER;
+    private long attemptBeganMs = NEVER;
+
+    private JournalEntry(
+            byte frontend,
+            long keepUntilMs,
+            boolean duplicate,
+            ActiveRequest.Message message,
+            int recordBytes,
+            FinalOutcome outcome,
+            boolean notificationOwed) {
+        this.frontend = frontend;
+        this.keepUntilMs = keepUntilMs;
+        this.duplicate = duplicate;
+        this.message = message;
+        this.recordBytes = recordBytes;
+        this.outcome = outcome;
+        this.notificationOwed = notificationOwed;
     }
 
-    /** What it counts of the cap. */
-    int weight() {
-        return answer == null ? size + BOOKKEEPING : 160;
+    /** The entry of an accepted message, whose record takes so many bytes. */
+    static JournalEntry unfinished(
+            ActiveRequest.Message message, long keepUntilMs, int recordBytes, boolean duplicate) {
+        return new JournalEntry(message.frontend(), keepUntilMs, duplicate, message, recordBytes, null, false);
     }
 
-    void sent(long wallMs) {
-        attempts++;
-        outMs = wallMs;
+    /** The entry of a message with an outcome. */
+    static JournalEntry completed(byte frontend, long keepUntilMs, FinalOutcome outcome, boolean notificationOwed) {
+        return new JournalEntry(frontend, keepUntilMs, false, null, 0, outcome, notificationOwed);
     }
 
-    void result(boolean mayHaveRun) {
-        firstRanMs = mayHaveRun && firstRanMs == 0 ? outMs : firstRanMs;
-        outMs = 0;
+    /** Whether it has its final outcome. */
+    boolean isComplete() {
+        return outcome != null;
     }
 
-    /** The record of its end. */
-    byte[] end(String id) {
-        return JournalRecords.ended(id, front, keepMs, answer, owed);
+    /** Whether it is unfinished, and attempts may be made for it. */
+    boolean isDispatchable() {
+        return outcome == null && !duplicate;
     }
 
-    /** The fewest records that say all of it; {@code same}: its key, or null. */
-    List<byte[]> records(String id, String same, Clock clock) {
-        List<byte[]> records = new ArrayList<>(3);
-        if (same != null) {
-            records.add(JournalRecords.keyed(id, same));
+    /** Whether its outcome need not be remembered any more. */
+    boolean isExpired(long wallMs) {
+        return isComplete() && !notificationOwed && keepUntilMs < wallMs;
+    }
+
+    /** What it counts of the journal's capacity. */
+    int liveBytes() {
+        return isComplete() ? COMPLETED_BYTES : recordBytes + RESERVED_BYTES;
+    }
+
+    /** Whether an attempt is in flight. */
+    boolean hasAttemptInFlight() {
+        return attemptBeganMs != NEVER;
+    }
+
+    /** An attempt begins. */
+    void attemptBegan(long wallMs) {
+        attempts++;
+        attemptBeganMs = wallMs;
+    }
+
+    /** The attempt in flight has ended. */
+    void attemptEnded(boolean mayHaveRun) {
+        if (mayHaveRun && firstMayHaveRunMs == NEVER) {
+            firstMayHaveRunMs = attemptBeganMs;
         }
-        if (answer != null) {
-            records.add(end(id));
-            return records;
+        attemptBeganMs = NEVER;
+    }
+
+    /** Sets the state of the attempts, as a compacted journal has it in one record. */
+    void restoreAttempts(int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
+        this.attempts = attempts;
+        this.firstMayHaveRunMs = firstMayHaveRunMs;
+        this.attemptBeganMs = attemptBeganMs;
+    }
+
+    /** The request as it stood when its process ended; only of an unfinished message. */
+    ActiveRequest toRequest(Clock clock) {
+        ActiveRequest request = new ActiveRequest(message);
+        request.attempts = attempts;
+        request.mayHaveRun = firstMayHaveRunMs != NEVER;
+        request.deduplicatedUntil = clock.fromWall(firstMayHaveRunMs);
+        return request;
+    }
+
+    /** The fewest records that say all of it, but for its key. */
+    List<byte[]> records(String id, Clock clock) {
+        if (isComplete()) {
+            return List.of(JournalRecordEncoder.completed(id, this));
         }
         long deadlineMs = clock.toWall(message.deadline());
-        if (joined) {
-            records.add(JournalRecords.joined(message, deadlineMs, keepMs));
-            return records;
+        if (duplicate) {
+            return List.of(JournalRecordEncoder.acceptedDuplicate(message, deadlineMs, keepUntilMs));
         }
-        records.add(JournalRecords.taken(message, deadlineMs, keepMs));
-        records.add(JournalRecords.encode(JournalRecords.STATE, id, out -> {
-            out.writeInt(attempts);
-            out.writeLong(firstRanMs);
-            out.writeLong(outMs);
-        }));
-        return records;
+        return List.of(
+                JournalRecordEncoder.accepted(message, deadlineMs, keepUntilMs),
+                JournalRecordEncoder.attemptState(id, attempts, firstMayHaveRunMs, attemptBeganMs));
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/core/JournalIndex.java
@@ -0,0 +1,286 @@
+package elderseam.core;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The journal's content in memory: what its records say, and how many bytes of the file are live. Records are applied
+ * alike whether they were just written or are read back. Does no I/O; confined to the event-loop thread.
+ */
+final class JournalIndex implements JournalRecordHandler {
+    /** Takes the records of a compacted journal. */
+    interface RecordSink {
+        void write(byte[] record) throws IOException;
+    }
+
+    private static final int MIN_SWEEP_ENTRIES = 1_024;
+    private static final byte[] NO_BODY = {};
+
+    private final Clock clock;
+    private final Map<String, JournalEntry> entries = new LinkedHashMap<>();
+    private final JournalKeys keys = new JournalKeys();
+    private final Set<String> drained = new LinkedHashSet<>();
+    private long drainedBytes;
+    private long liveBytes;
+    private int sweepEntries = MIN_SWEEP_ENTRIES;
+
+    JournalIndex(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Bytes of the file that are live, with what is reserved for the later records of unfinished messages. */
+    long liveBytes() {
+        return liveBytes;
+    }
+
+    // ---------------------------------------------------------------- records
+
+    @Override
+    public String keyOf(String id) {
+        return keys.keyOf(id).orElse("");
+    }
+
+    @Override
+    public void deduplicationKey(String id, String key) {
+        keys.put(id, key);
+    }
+
+    @Override
+    public void accepted(ActiveRequest.Message message, int recordBytes) {
+        put(message.id(), unfinishedEntry(message, recordBytes, false));
+    }
+
+    @Override
+    public void acceptedDuplicate(ActiveRequest.Message message, int recordBytes) {
+        put(message.id(), unfinishedEntry(message, recordBytes, true));
+    }
+
+    private JournalEntry unfinishedEntry(ActiveRequest.Message message, int recordBytes, boolean duplicate) {
+        return JournalEntry.unfinished(message, clock.toWall(message.rememberUntil()), recordBytes, duplicate);
+    }
+
+    private void put(String id, JournalEntry entry) {
+        JournalEntry replaced = entries.put(id, entry);
+        liveBytes += entry.liveBytes() - (replaced == null ? 0 : replaced.liveBytes());
+    }
+
+    @Override
+    public void attemptBegan(String id, long wallMs) {
+        JournalEntry entry = entries.get(id);
+        if (entry != null) {
+            entry.attemptBegan(wallMs);
+        }
+    }
+
+    @Override
+    public void attemptEnded(String id, boolean mayHaveRun) {
+        JournalEntry entry = entries.get(id);
+        if (entry != null) {
+            entry.attemptEnded(mayHaveRun);
+        }
+    }
+
+    @Override
+    public void attemptState(String id, int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
+        JournalEntry entry = entries.get(id);
+        if (entry != null) {
+            entry.restoreAttempts(attempts, firstMayHaveRunMs, attemptBeganMs);
+        }
+    }
+
+    @Override
+    public void completed(String id, JournalEntry entry) {
+        put(id, entry);
+        if (!entry.notificationOwed) {
+            forgetRejection(id, entry);
+        }
+    }
+
+    @Override
+    public void notified(String id) {
+        JournalEntry entry = entries.get(id);
+        if (entry != null) {
+            entry.notificationOwed = false;
+            forgetRejection(id, entry);
+        }
+    }
+
+    /** A rejected message may come again, so its outcome is not remembered once its client was notified. */
+    private void forgetRejection(String id, JournalEntry entry) {
+        if (entry.isComplete() && entry.outcome.isRejection()) {
+            entries.remove(id);
+            liveBytes -= entry.liveBytes();
+            keys.remove(id);
+        }
+    }
+
+    @Override
+    public void scheme(String name, byte[] text, int recordBytes) {
+        keys.setCurrentScheme(name, text);
+        liveBytes += recordBytes;
+    }
+
+    @Override
+    public void drain(String endpoint, boolean drain, int recordBytes) {
+        boolean changed = drain ? drained.add(endpoint) : drained.remove(endpoint);
+        if (changed) {
+            int change = drain ? recordBytes : -recordBytes;
+            liveBytes += change;
+            drainedBytes += change;
+        }
+    }
+
+    // ---------------------------------------------------------------- sweep and compaction
+
+    /** Sweeps once the entries have doubled: not only when the file is full, since there are always new ids. */
+    void sweepIfGrown() {
+        if (entries.size() >= sweepEntries) {
+            sweep();
+            sweepEntries = Math.max(MIN_SWEEP_ENTRIES, 2 * entries.size());
+        }
+    }
+
+    /** Forgets the outcomes that need not be remembered any more. */
+    void sweep() {
+        long wallMs = clock.wallMs();
+        entries.entrySet().removeIf(candidate -> {
+            boolean expired = candidate.getValue().isExpired(wallMs);
+            if (expired) {
+                keys.remove(candidate.getKey());
+            }
+            return expired;
+        });
+        long entryBytes =
+                entries.values().stream().mapToLong(JournalEntry::liveBytes).sum();
+        liveBytes = entryBytes + keys.schemeBytes() + drainedBytes;
+    }
+
+    /** Writes the fewest records that say all that is live. */
+    void writeTo(RecordSink sink) throws IOException {
+        for (Map.Entry<String, byte[]> scheme : keys.schemes().entrySet()) {
+            sink.write(JournalRecordEncoder.scheme(scheme.getKey(), scheme.getValue()));
+        }
+        for (String endpoint : drained) {
+            sink.write(JournalRecordEncoder.drain(endpoint, true));
+        }
+        for (Map.Entry<String, JournalEntry> entry : entries.entrySet()) {
+            String id = entry.getKey();
+            Optional<String> key = keys.keyOf(id);
+            if (key.isPresent()) {
+                sink.write(JournalRecordEncoder.deduplicationKey(id, key.get()));
+            }
+            for (byte[] record : entry.getValue().records(id, clock)) {
+                sink.write(record);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- messages
+
+    /** The final outcome of a message, where it is remembered. */
+    Optional<FinalOutcome> outcome(String id) {
+        JournalEntry entry = entries.get(id);
+        return entry == null ? Optional.empty() : Optional.ofNullable(entry.outcome);
+    }
+
+    /** The final outcome of the last message with that key, unless that was a rejection. */
+    Optional<FinalOutcome> outcomeOfKey(String key) {
+        return keys.idOf(key).flatMap(this::outcome).filter(outcome -> !outcome.isRejection());
+    }
+
+    /** Whether the client of that message is yet to be notified of its outcome. */
+    boolean owesNotification(String id) {
+        JournalEntry entry = entries.get(id);
+        return entry != null && entry.notificationOwed;
+    }
+
+    /** Whether any message of that frontend is unfinished, or owes its client a notification. */
+    boolean hasWorkFor(byte frontend) {
+        return entries.values().stream()
+                .anyMatch(entry -> entry.frontend == frontend && (!entry.isComplete() || entry.notificationOwed));
+    }
+
+    /** The messages that wait for the outcome of another. */
+    List<ActiveRequest.Message> waitingDuplicates() {
+        return entries.values().stream()
+                .filter(entry -> entry.duplicate && !entry.isComplete())
+                .map(entry -> entry.message)
+                .toList();
+    }
+
+    /**
+     * The requests without an outcome but for these. An attempt that was in flight when their process ended may have
+     * run.
+     */
+    List<ActiveRequest> unfinished(Set<String> except) {
+        List<ActiveRequest> unfinished = new ArrayList<>();
+        entries.forEach((id, entry) -> {
+            if (entry.isDispatchable() && !except.contains(id)) {
+                entry.attemptEnded(entry.hasAttemptInFlight());
+                unfinished.add(entry.toRequest(clock));
+            }
+        });
+        return unfinished;
+    }
+
+    /** The requests without an outcome among these. */
+    List<ActiveRequest> unfinishedOf(Set<String> ids) {
+        return ids.stream()
+                .map(entries::get)
+                .filter(entry -> entry != null && entry.isDispatchable())
+                .map(entry -> entry.toRequest(clock))
+                .toList();
+    }
+
+    /** The outcomes of which clients are yet to be notified. */
+    Map<ActiveRequest.Message, FinalOutcome> owedOutcomes() {
+        Map<ActiveRequest.Message, FinalOutcome> owed = new LinkedHashMap<>();
+        entries.forEach((id, entry) -> {
+            if (entry.notificationOwed) {
+                long keepUntil = clock.fromWall(entry.keepUntilMs);
+                ActiveRequest.Message message = new ActiveRequest.Message(
+                        id, entry.frontend, 0, 0, 0, keepUntil, keepUntil, false, true, "", NO_BODY);
+                owed.put(message, entry.outcome);
+            }
+        });
+        return owed;
+    }
+
+    // ---------------------------------------------------------------- operators' settings
+
+    /** Whether that scheme is known with that text. */
+    boolean hasScheme(String name, byte[] text) {
+        return keys.hasScheme(name, text);
+    }
+
+    /** Makes a known scheme the current one. */
+    void setCurrentScheme(String name, byte[] text) {
+        keys.setCurrentScheme(name, text);
+    }
+
+    /** No scheme is current any more. */
+    void clearCurrentScheme() {
+        keys.clearCurrentScheme();
+    }
+
+    /** The schemes that are in use, the current one last. */
+    Map<String, byte[]> schemes() {
+        return keys.schemes();
+    }
+
+    /** Whether an operator drains that endpoint. */
+    boolean isDrained(String endpoint) {
+        return drained.contains(endpoint);
+    }
+
+    /** The endpoints that an operator drains. */
+    Set<String> drainedEndpoints() {
+        return Set.copyOf(drained);
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/core/JournalLog.java
@@ -0,0 +1,98 @@
+package elderseam.core;
+
+import java.io.IOException;
+
+/**
+ * The append-only file of the journal's records. A torn tail is cut off when it is opened. When it is full, what is
+ * live is written to a new file that takes its place. Confined to the event-loop thread.
+ */
+final class JournalLog {
+    private final JournalStore store;
+    private final long capacity;
+    private final JournalIndex index;
+    private long size;
+    private boolean suspended;
+
+    /** Opens the log and reads its records into the index; {@code capacity} in bytes. */
+    JournalLog(JournalStore store, long capacity, Clock clock, JournalIndex index) throws IOException {
+        this.store = store;
+        this.capacity = capacity;
+        this.index = index;
+        size = JournalReader.read(store, new JournalRecordDecoder(clock, index));
+        store.truncate(size);
+    }
+
+    /**
+     * Appends a record; false where there is no capacity, another process writes, or the store failed, which is
+     * logged.
+     */
+    boolean append(byte[] record) {
+        if (suspended) {
+            return false;
+        }
+        try {
+            // the log with this record, and its compacted successor, must fit together
+            if (size + 2L * record.length + Math.max(0, index.liveBytes()) > capacity) {
+                compact();
+            }
+            if (size + record.length > capacity) {
+                return false;
+            }
+            store.write(record, size);
+            size += record.length;
+            return true;
+        } catch (IOException e) {
+            System.err.println("journal: " + e);
+            return false; // what was half written stays behind the end and is written over
+        }
+    }
+
+    /** Writes what is live to a new file, which then takes the place of the old one. */
+    private void compact() throws IOException {
+        index.sweep();
+        JournalStore fresh = store.fresh();
+        Appender appender = new Appender(fresh);
+        try {
+            index.writeTo(appender);
+            store.replace(fresh);
+        } catch (IOException e) {
+            fresh.discard();
+            throw e;
+        }
+        size = appender.size;
+    }
+
+    /** Appends records to a new file. */
+    private static final class Appender implements JournalIndex.RecordSink {
+        private final JournalStore target;
+        private long size;
+
+        Appender(JournalStore target) {
+            this.target = target;
+        }
+
+        @Override
+        public void write(byte[] record) throws IOException {
+            target.write(record, size);
+            size += record.length;
+        }
+    }
+
+    /** Stops appending until {@link #resume}. */
+    void suspend() {
+        suspended = true;
+    }
+
+    /**
+     * Replaces the file by what the index holds, and appends again; where that fails the old file stands, and is
+     * appended to.
+     */
+    void resume() {
+        suspended = false;
+        try {
+            compact();
+        } catch (IOException e) {
+            System.err.println("journal: " + e);
+        }
+    }
+}
--- a/src/main/java/elderseam/core/JournalReader.java
+++ b/src/main/java/elderseam/core/JournalReader.java
@@ -1,66 +1,66 @@
 package elderseam.core;
 
-import static elderseam.core.JournalRecords.HEAD;
-import static elderseam.core.JournalRecords.MOST;
-
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-/** Reads the records of a journal from its store, by the window: a call for each record of a full file took longer than all the rest
- *  of a start. */
+/**
+ * Reads a journal's records from its store, in large windows: one read for each record of a full file took longer
+ * than all the rest of a start.
+ */
 final class JournalReader {
-    private static final int WINDOW = 1 << 20;
-
-    /** What takes each record: its content, and how many bytes it has. */
-    interface Taking {
-        void take(DataInputStream in, int bytes) throws IOException;
-    }
+    private static final int WINDOW_BYTES = 1 << 20;
 
     private final JournalStore store;
+    private final long length;
     private final ByteBuffer window;
 
     private JournalReader(JournalStore store, long length) {
         this.store = store;
-        window = ByteBuffer.allocate((int) Math.min(length, WINDOW));
+        this.length = length;
+        window = ByteBuffer.allocate((int) Math.min(length, WINDOW_BYTES));
         window.flip();
     }
 
-    /** Hands each whole record over, up to the first that is none; where that begins. */
-    static long read(JournalStore store, Taking each) throws IOException {
-        long length = store.length();
-        return new JournalReader(store, length).read(length, each);
+    /** Decodes each record up to the first that is torn or damaged; the offset of that one, or of the end. */
+    static long read(JournalStore store, JournalRecordDecoder decoder) throws IOException {
+        return new JournalReader(store, store.length()).read(decoder);
     }
 
-    private long read(long length, Taking each) throws IOException {
-        long at = 0;
-        while (at + HEAD <= length && fill(HEAD, at)) {
-            int bytes = window.getInt(window.position());
-            int sum = window.getInt(window.position() + 4);
-            if (bytes <= 0 || bytes > MOST || at + HEAD + bytes > length || !fill(HEAD + bytes, at)) {
+    private long read(JournalRecordDecoder decoder) throws IOException {
+        long offset = 0;
+        while (offset + JournalRecordFormat.HEADER_BYTES <= length && fill(JournalRecordFormat.HEADER_BYTES, offset)) {
+            int contentBytes = window.getInt(window.position());
+            int checksum = window.getInt(window.position() + Integer.BYTES);
+            int recordBytes = JournalRecordFormat.HEADER_BYTES + contentBytes;
+            boolean plausible = contentBytes > 0 && contentBytes <= JournalRecordFormat.MAX_CONTENT_BYTES;
+            if (!plausible || offset + recordBytes > length || !fill(recordBytes, offset)) {
                 break;
             }
-            int from = window.position() + HEAD;
-            if (JournalRecords.checksum(window.array(), from, bytes) != sum) {
+            int start = window.position() + JournalRecordFormat.HEADER_BYTES;
+            if (JournalRecordFormat.checksum(window.array(), start, contentBytes) != checksum) {
                 break;
             }
-            each.take(new DataInputStream(new ByteArrayInputStream(window.array(), from, bytes)), bytes);
-            window.position(from + bytes);
-            at += HEAD + bytes;
+            ByteArrayInputStream content = new ByteArrayInputStream(window.array(), start, contentBytes);
+            decoder.decode(new DataInputStream(content), contentBytes);
+            window.position(start + contentBytes);
+            offset += recordBytes;
         }
-        return at;
+        return offset;
     }
 
-    /** Sees to it that the window holds so many bytes from its position on, which is that place of the file. */
-    private boolean fill(int bytes, long at) throws IOException {
+    /** Ensures that the window holds so many bytes from its position on, which is that offset of the store. */
+    private boolean fill(int bytes, long offset) throws IOException {
         if (window.remaining() >= bytes) {
             return true;
         }
         window.compact();
-        long from = at + window.position();
-        for (int n = 0; window.hasRemaining() && n >= 0; from += Math.max(0, n)) {
-            n = store.read(window, from);
+        long readAt = offset + window.position();
+        int read = 0;
+        while (window.hasRemaining() && read >= 0) {
+            read = store.read(window, readAt);
+            readAt += Math.max(0, read);
         }
         window.flip();
         return window.remaining() >= bytes;
--- /dev/null
+++ b/src/main/java/elderseam/core/JournalRecordDecoder.java
@@ -0,0 +1,84 @@
+package elderseam.core;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+
+/**
+ * Decodes the journal's records, as {@link JournalRecordEncoder} writes them. Stateless but for its clock and its
+ * handler.
+ */
+final class JournalRecordDecoder {
+    private final Clock clock;
+    private final JournalRecordHandler handler;
+
+    /** {@code clock}: moves the records' times to this process. */
+    JournalRecordDecoder(Clock clock, JournalRecordHandler handler) {
+        this.clock = clock;
+        this.handler = handler;
+    }
+
+    /** Decodes one record's content and hands it over; an unknown type is logged and passed over. */
+    void decode(DataInputStream in, int contentBytes) throws IOException {
+        int recordBytes = JournalRecordFormat.HEADER_BYTES + contentBytes;
+        byte type = in.readByte();
+        String id = in.readUTF();
+        switch (type) {
+            case JournalRecordFormat.ACCEPTED -> handler.accepted(readMessage(in, id, false), recordBytes);
+            case JournalRecordFormat.ACCEPTED_DUPLICATE ->
+                handler.acceptedDuplicate(readMessage(in, id, true), recordBytes);
+            case JournalRecordFormat.DEDUPLICATION_KEY -> handler.deduplicationKey(id, in.readUTF());
+            case JournalRecordFormat.ATTEMPT_BEGAN -> handler.attemptBegan(id, in.readLong());
+            case JournalRecordFormat.ATTEMPT_ENDED -> handler.attemptEnded(id, in.readBoolean());
+            case JournalRecordFormat.ATTEMPT_STATE ->
+                handler.attemptState(id, in.readInt(), in.readLong(), in.readLong());
+            case JournalRecordFormat.COMPLETED -> handler.completed(id, readCompleted(in));
+            case JournalRecordFormat.NOTIFIED -> handler.notified(id);
+            case JournalRecordFormat.SCHEME -> handler.scheme(id, readBytes(in), recordBytes);
+            case JournalRecordFormat.DRAIN -> handler.drain(id, in.readBoolean(), recordBytes);
+            default -> System.err.println("journal: unknown record " + type);
+        }
+    }
+
+    /** A duplicate's record holds its key; that of another message stands in a record before. */
+    private ActiveRequest.Message readMessage(DataInputStream in, String id, boolean duplicate) throws IOException {
+        byte frontend = in.readByte();
+        int classIndex = in.readInt();
+        int tenantIndex = in.readInt();
+        long destination = in.readLong();
+        long deadline = clock.fromWall(in.readLong());
+        long rememberUntil = clock.fromWall(in.readLong());
+        boolean resubmitted = in.readBoolean();
+        boolean retriesWithinKeyWindow = in.readBoolean();
+        String idempotencyKey = in.readUTF();
+        byte[] body = readBytes(in);
+        String deduplicationKey = duplicate ? in.readUTF() : handler.keyOf(id);
+        return new ActiveRequest.Message(
+                id,
+                frontend,
+                classIndex,
+                tenantIndex,
+                destination,
+                deadline,
+                rememberUntil,
+                resubmitted,
+                retriesWithinKeyWindow,
+                idempotencyKey,
+                body,
+                deduplicationKey);
+    }
+
+    private static JournalEntry readCompleted(DataInputStream in) throws IOException {
+        byte frontend = in.readByte();
+        long keepUntilMs = in.readLong();
+        FinalOutcome.Kind kind = FinalOutcome.Kind.ofCode(in.readByte());
+        FinalOutcome outcome = new FinalOutcome(kind, in.readLong());
+        boolean notificationOwed = in.readBoolean();
+        return JournalEntry.completed(frontend, keepUntilMs, outcome, notificationOwed);
+    }
+
+    private static byte[] readBytes(DataInputStream in) throws IOException {
+        byte[] bytes = new byte[in.readInt()];
+        in.readFully(bytes);
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/core/JournalRecordEncoder.java
@@ -0,0 +1,117 @@
+package elderseam.core;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** Encodes the journal's records; times are wall-clock milliseconds. */
+final class JournalRecordEncoder {
+    private static final int INITIAL_BYTES = 256;
+
+    /** Writes what a record's type holds. */
+    private interface Content {
+        void writeTo(DataOutputStream out) throws IOException;
+    }
+
+    private JournalRecordEncoder() {}
+
+    private static byte[] encode(byte type, String id, Content content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(0); // the header's place
+            out.writeByte(type);
+            out.writeUTF(id);
+            content.writeTo(out);
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // cannot happen in memory
+        }
+        byte[] record = bytes.toByteArray();
+        int length = record.length - JournalRecordFormat.HEADER_BYTES;
+        int checksum = JournalRecordFormat.checksum(record, JournalRecordFormat.HEADER_BYTES, length);
+        ByteBuffer.wrap(record).putInt(length).putInt(checksum);
+        return record;
+    }
+
+    /** A message is accepted. */
+    static byte[] accepted(ActiveRequest.Message message, long deadlineMs, long keepUntilMs) {
+        return encode(
+                JournalRecordFormat.ACCEPTED, message.id(), out -> writeMessage(out, message, deadlineMs, keepUntilMs));
+    }
+
+    /** A message is accepted that waits for the outcome of another with its key. */
+    static byte[] acceptedDuplicate(ActiveRequest.Message message, long deadlineMs, long keepUntilMs) {
+        return encode(JournalRecordFormat.ACCEPTED_DUPLICATE, message.id(), out -> {
+            writeMessage(out, message, deadlineMs, keepUntilMs);
+            out.writeUTF(message.deduplicationKey());
+        });
+    }
+
+    private static void writeMessage(
+            DataOutputStream out, ActiveRequest.Message message, long deadlineMs, long keepUntilMs) throws IOException {
+        out.writeByte(message.frontend());
+        out.writeInt(message.classIndex());
+        out.writeInt(message.tenantIndex());
+        out.writeLong(message.destination());
+        out.writeLong(deadlineMs);
+        out.writeLong(keepUntilMs);
+        out.writeBoolean(message.resubmitted());
+        out.writeBoolean(message.retriesWithinKeyWindow());
+        out.writeUTF(message.idempotencyKey());
+        out.writeInt(message.body().length);
+        out.write(message.body());
+    }
+
+    /** The deduplication key of a message; stands before the message's own record. */
+    static byte[] deduplicationKey(String id, String key) {
+        return encode(JournalRecordFormat.DEDUPLICATION_KEY, id, out -> out.writeUTF(key));
+    }
+
+    /** An attempt is about to be sent. */
+    static byte[] attemptBegan(String id, long wallMs) {
+        return encode(JournalRecordFormat.ATTEMPT_BEGAN, id, out -> out.writeLong(wallMs));
+    }
+
+    /** The attempt in flight has ended. */
+    static byte[] attemptEnded(String id, boolean mayHaveRun) {
+        return encode(JournalRecordFormat.ATTEMPT_ENDED, id, out -> out.writeBoolean(mayHaveRun));
+    }
+
+    /** All that is known of a message's attempts, in one record. */
+    static byte[] attemptState(String id, int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
+        return encode(JournalRecordFormat.ATTEMPT_STATE, id, out -> {
+            out.writeInt(attempts);
+            out.writeLong(firstMayHaveRunMs);
+            out.writeLong(attemptBeganMs);
+        });
+    }
+
+    /** The final outcome of a message. */
+    static byte[] completed(String id, JournalEntry entry) {
+        return encode(JournalRecordFormat.COMPLETED, id, out -> {
+            out.writeByte(entry.frontend);
+            out.writeLong(entry.keepUntilMs);
+            out.writeByte(entry.outcome.kind().code);
+            out.writeLong(entry.outcome.retryAfterNs());
+            out.writeBoolean(entry.notificationOwed);
+        });
+    }
+
+    /** The client was notified of the outcome. */
+    static byte[] notified(String id) {
+        return encode(JournalRecordFormat.NOTIFIED, id, out -> {});
+    }
+
+    /** What is needed to compute the keys of a scheme again; makes it the current one. */
+    static byte[] scheme(String name, byte[] text) {
+        return encode(JournalRecordFormat.SCHEME, name, out -> {
+            out.writeInt(text.length);
+            out.write(text);
+        });
+    }
+
+    /** Whether an operator drains an endpoint. */
+    static byte[] drain(String endpoint, boolean drained) {
+        return encode(JournalRecordFormat.DRAIN, endpoint, out -> out.writeBoolean(drained));
+    }
+}
--- a/src/main/java/elderseam/core/JournalStore.java
+++ b/src/main/java/elderseam/core/JournalStore.java
@@ -4,27 +4,32 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-/** Where the journal's bytes lie: a file, or memory where a process's whole life is emulated. */
+/**
+ * Where the journal's bytes are stored: a file, or memory where a process's whole life is emulated. Confined to the
+ * event-loop thread; every method throws {@link IOException} where the storage fails.
+ */
 public interface JournalStore extends Closeable {
+    /** Bytes stored. */
     long length() throws IOException;
 
-    /** As a channel reads: how many, or -1 at the end. */
-    int read(ByteBuffer to, long at) throws IOException;
+    /** Reads at an offset; the number of bytes, or -1 at the end. */
+    int read(ByteBuffer target, long offset) throws IOException;
 
-    /** All of them, or fails; what was half written is written over later. */
-    void write(byte[] bytes, long at) throws IOException;
+    /** Writes all bytes at an offset, or throws; what was half written is written over later. */
+    void write(byte[] bytes, long offset) throws IOException;
 
+    /** Cuts off what is beyond that length. */
     void truncate(long length) throws IOException;
 
-    /** What is kept beside this one under that name, as it was left. */
+    /** The store beside this one under that name, with the content that it had. */
     JournalStore aside(String name) throws IOException;
 
-    /** An empty one beside this one. */
+    /** An empty store beside this one. */
     JournalStore fresh() throws IOException;
 
-    /** The fresh one takes the place of this one, at once or not at all. */
+    /** Puts the fresh store in the place of this one, atomically. */
     void replace(JournalStore fresh) throws IOException;
 
-    /** A fresh one that is not to take any place. */
+    /** Deletes a fresh store that is not to take any place. */
     void discard() throws IOException;
 }
--- a/src/main/java/elderseam/core/JsonValue.java
+++ b/src/main/java/elderseam/core/JsonValue.java
@@ -8,129 +8,149 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
- * A JSON value as read, on jackson-core alone: an object, a list, or a plain value by its text. Databind's tree would
- * load four hundred classes more before the first message (docs/recovery.md has the figures). Nesting is bounded to
- * {@value #MOST_DEPTH}.
+ * An immutable JSON value: an object, a list, a scalar by its text, or absent. Read with jackson-core alone, since
+ * databind's tree would load four hundred classes more before the first message (docs/recovery.md has the figures).
+ * Nesting is bounded to {@value #MAX_DEPTH}. Thread-safe.
  */
 public final class JsonValue {
-    private static final int MOST_DEPTH = 64;
+    private static final int MAX_DEPTH = 64;
     private static final JsonValue ABSENT = new JsonValue(null);
     private static final JsonFactory FACTORY = JsonFactory.builder()
             .streamReadConstraints(
-                    StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build())
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
             .build();
 
-    private final Object value; // Map, List, String, or null
+    /** A {@code Map<String, JsonValue>}, a {@code List<JsonValue>}, a {@code String}, or null where absent. */
+    private final Object value;
 
     private JsonValue(Object value) {
         this.value = value;
     }
 
-    /** Reads one value; what follows it must be white space. Faults name line and column. */
+    /**
+     * Reads one value; only white space may follow it.
+     *
+     * @throws IOException with line and column, where the bytes are no JSON value
+     */
     public static JsonValue read(byte[] bytes) throws IOException {
-        try (JsonParser p = FACTORY.createParser(bytes)) {
-            if (p.nextToken() == null) {
+        try (JsonParser parser = FACTORY.createParser(bytes)) {
+            if (parser.nextToken() == null) {
                 throw new IOException("no JSON value at all");
             }
-            JsonValue whole = value(p);
-            if (p.nextToken() != null) {
+            JsonValue value = readValue(parser);
+            if (parser.nextToken() != null) {
                 throw new IOException("more than one JSON value");
             }
-            return whole;
+            return value;
         }
     }
 
-    private static JsonValue value(JsonParser p) throws IOException {
-        JsonToken t = p.currentToken();
-        if (t == JsonToken.START_OBJECT) {
-            Map<String, JsonValue> fields = new LinkedHashMap<>();
-            while (p.nextToken() != JsonToken.END_OBJECT) {
-                String name = p.currentName();
-                p.nextToken();
-                fields.put(name, value(p));
-            }
-            return new JsonValue(fields);
+    private static JsonValue readValue(JsonParser parser) throws IOException {
+        JsonToken token = parser.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            return readObject(parser);
         }
-        if (t == JsonToken.START_ARRAY) {
-            List<JsonValue> items = new ArrayList<>();
-            while (p.nextToken() != JsonToken.END_ARRAY) {
-                items.add(value(p));
-            }
-            return new JsonValue(items);
+        if (token == JsonToken.START_ARRAY) {
+            return readList(parser);
+        }
+        return token == JsonToken.VALUE_NULL ? ABSENT : new JsonValue(parser.getText());
+    }
+
+    private static JsonValue readObject(JsonParser parser) throws IOException {
+        Map<String, JsonValue> fields = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            fields.put(name, readValue(parser));
         }
-        return t == JsonToken.VALUE_NULL ? ABSENT : new JsonValue(p.getText());
+        return new JsonValue(fields);
     }
 
+    private static JsonValue readList(JsonParser parser) throws IOException {
+        List<JsonValue> items = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            items.add(readValue(parser));
+        }
+        return new JsonValue(items);
+    }
+
+    /** Whether it is an object. */
     public boolean isObject() {
         return value instanceof Map;
     }
 
+    /** Whether it is a list. */
     public boolean isList() {
         return value instanceof List;
     }
 
     /** Whether there is a value other than null. */
-    public boolean told() {
+    public boolean isPresent() {
         return value != null;
     }
 
-    /** A field of an object; an absent one is a value that is not told. */
-    public JsonValue at(String name) {
+    /** A field of an object; absent where there is none. */
+    public JsonValue get(String name) {
         return fields().getOrDefault(name, ABSENT);
     }
 
-    @SuppressWarnings("unchecked")
+    /** The fields of an object in their order; otherwise empty. */
+    @SuppressWarnings("unchecked") // a map is only ever built by readObject
     public Map<String, JsonValue> fields() {
         return value instanceof Map ? (Map<String, JsonValue>) value : Map.of();
     }
 
-    @SuppressWarnings("unchecked")
+    /** The items of a list; otherwise empty. */
+    @SuppressWarnings("unchecked") // a list is only ever built by readList
     public List<JsonValue> items() {
         return value instanceof List ? (List<JsonValue>) value : List.of();
     }
 
-    /** A plain value as written. */
-    public String text(String absent) {
-        return value instanceof String s ? s : absent;
+    /** A scalar as written. */
+    public String asText(String absent) {
+        return value instanceof String text ? text : absent;
     }
 
-    /** A number; what is none counts as absent. */
-    public double real(double absent) {
+    /** A number; anything else counts as absent. */
+    public double asDouble(double absent) {
         try {
-            return value instanceof String s ? Double.parseDouble(s) : absent;
+            return value instanceof String text ? Double.parseDouble(text) : absent;
         } catch (NumberFormatException e) {
             return absent;
         }
     }
 
-    /** A whole number; a fraction is cut off. */
-    public long whole(long absent) {
+    /** A number, its fraction cut off; anything else counts as absent. */
+    public long asLong(long absent) {
         try {
-            return value instanceof String s ? Long.parseLong(s) : absent;
+            return value instanceof String text ? Long.parseLong(text) : absent;
         } catch (NumberFormatException e) {
-            return (long) real(absent);
+            return (long) asDouble(absent);
         }
     }
 
-    public boolean flag() {
+    /** Whether it is {@code true}. */
+    public boolean asBoolean() {
         return "true".equals(value);
     }
 
-    /** A text as JSON has it. */
-    public static String quoted(String text) {
-        StringBuilder all = new StringBuilder("\"");
-        text.chars().forEach(c -> {
+    /** A text as a JSON string, with its quotes. */
+    public static String quote(String text) {
+        StringBuilder json = new StringBuilder("\"");
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
             if (c == '"' || c == '\\') {
-                all.append('\\').append((char) c);
+                json.append('\\').append(c);
             } else if (c < ' ') {
-                all.append(String.format("\\u%04x", c));
+                json.append(String.format(Locale.ROOT, "\\u%04x", (int) c));
             } else {
-                all.append((char) c);
+                json.append(c);
             }
-        });
-        return all.append('"').toString();
+        }
+        return json.append('"').toString();
     }
 }
--- a/src/main/java/elderseam/core/Lifecycle.java
+++ b/src/main/java/elderseam/core/Lifecycle.java
@@ -1,16 +1,19 @@
 package elderseam.core;
 
 /**
- * Where a process stands between its start and its end; decisions without I/O, one order of states for LAMEDUCK, REJOIN and
- * SIGTERM. Owned by one thread.
+ * Where a process stands between its start and its end, for the commands LAMEDUCK and REJOIN and for SIGTERM; does no
+ * I/O. Confined to the event-loop thread.
  */
 public final class Lifecycle {
-    /** STARTING until what an earlier process left is taken back; DRAINED once no client is connected; ENDING is for good. */
+    /** The states, in the order in which they usually come. */
     public enum State {
+        /** What an earlier process left is being recovered. */
         STARTING("starting"),
         READY("ready"),
         DRAINING("draining"),
+        /** Draining, and no client is connected. */
         DRAINED("drained"),
+        /** For good. */
         ENDING("ending");
 
         private final String wireName;
@@ -25,55 +28,65 @@
         }
     }
 
-    private boolean started, drains, empty, ending;
+    private boolean started;
+    private boolean draining;
+    private boolean clientsGone;
+    private boolean ending;
 
+    /** The present state. */
     public State state() {
-        return ending
-                ? State.ENDING
-                : drains ? empty ? State.DRAINED : State.DRAINING : started ? State.READY : State.STARTING;
+        if (ending) {
+            return State.ENDING;
+        }
+        if (draining) {
+            return clientsGone ? State.DRAINED : State.DRAINING;
+        }
+        return started ? State.READY : State.STARTING;
     }
 
-    /** What an earlier process left is taken back. */
-    public void started() {
+    /** What an earlier process left has been recovered. */
+    public void markStarted() {
         started = true;
     }
 
     /** Whether new clients are to come. */
-    public boolean ready() {
+    public boolean isReady() {
         return state() == State.READY;
     }
 
-    /** Whether a drain by hand lasts. */
-    public boolean drains() {
-        return drains;
+    /** Whether an operator's drain lasts. */
+    public boolean isDraining() {
+        return draining;
     }
 
-    /** Whether each answer is the last on its connection. */
-    public boolean closing() {
-        return ending || drains;
+    /** Whether each response is the last on its connection. */
+    public boolean closesConnections() {
+        return ending || draining;
     }
 
-    /** A drain by hand begins; false where one lasts, or the process ends: nothing is to be done. */
-    public boolean drain() {
-        boolean begins = !drains && !ending;
-        drains |= begins;
-        empty &= !begins;
-        return begins;
+    /** Begins an operator's drain; false where one lasts, or the process ends, so that there is nothing to do. */
+    public boolean beginDrain() {
+        if (draining || ending) {
+            return false;
+        }
+        draining = true;
+        clientsGone = false;
+        return true;
     }
 
-    /** No client is connected any more; one that comes takes that back. */
-    public void clients(boolean none) {
-        empty = none;
+    /** Reports whether no client is connected any more; one that connects later revokes that. */
+    public void setClientsGone(boolean gone) {
+        clientsGone = gone;
     }
 
-    /** Back to work; false where the process ends, which nothing takes back. */
+    /** Ends an operator's drain; false where the process ends, which nothing revokes. */
     public boolean rejoin() {
-        drains = false;
+        draining = false;
         return !ending;
     }
 
-    /** SIGTERM, or another process has taken over; false where that was so already. */
-    public boolean end() {
+    /** Begins the end, by SIGTERM or after a handover; false where it had begun. */
+    public boolean beginEnd() {
         boolean begins = !ending;
         ending = true;
         return begins;
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -2,48 +2,56 @@
 
 import java.util.List;
 
-/** The counters that operators read, each counted where its event happens; they begin at 0 with the process. */
+/** The counters that operators read; they begin at 0 with the process. Confined to the event-loop thread. */
 final class Metrics {
-    private static final class Counts {
-        long success, busy, failure, calls;
+    private static final String PREFIX = "edge_relay.";
+
+    /** The counters of one message class. */
+    private static final class ClassCounters {
+        long delivered;
+        long rejected;
+        long failed;
+        long attempts;
     }
 
-    private final Counts[] byClass;
-    private long calls;
+    private final ClassCounters[] byClass;
+    private long attempts;
 
+    /** {@code classes}: how many message classes there are. */
     Metrics(int classes) {
-        byClass = new Counts[classes];
+        byClass = new ClassCounters[classes];
         for (int i = 0; i < classes; i++) {
-            byClass[i] = new Counts();
+            byClass[i] = new ClassCounters();
         }
     }
 
-    /** A message has its end. What ended elsewhere is counted there. */
-    void ended(int cls, FinalOutcome answer) {
-        Counts c = byClass[cls];
-        switch (answer.kind()) {
-            case DELIVERED -> c.success++;
-            case REFUSED -> c.busy++;
-            case FAILED -> c.failure++;
-            case OVER -> {}
+    /** Counts a final outcome. A withdrawn request is counted where it ended. */
+    void requestCompleted(int classIndex, FinalOutcome outcome) {
+        ClassCounters counters = byClass[classIndex];
+        switch (outcome.kind()) {
+            case DELIVERED -> counters.delivered++;
+            case REJECTED -> counters.rejected++;
+            case FAILED -> counters.failed++;
+            case WITHDRAWN -> {}
         }
     }
 
-    /** The last byte of a call was written. */
-    void called(int cls) {
-        byClass[cls].calls++;
-        calls++;
+    /** Counts an attempt whose last byte was written. */
+    void attemptWritten(int classIndex) {
+        byClass[classIndex].attempts++;
+        attempts++;
     }
 
-    /** A line for each figure: {@code edge_relay.NAME=NUMBER}. */
-    void lines(List<String> classes, List<String> into) {
+    /** Appends a line for each counter; {@code classNames} in the order of the settings. */
+    void appendLines(List<String> classNames, List<String> lines) {
         for (int i = 0; i < byClass.length; i++) {
-            String at = "edge_relay.calls." + classes.get(i) + ".";
-            into.add(at + "success=" + byClass[i].success);
-            into.add(at + "busy=" + byClass[i].busy);
-            into.add(at + "failure=" + byClass[i].failure);
-            into.add(at + "backend_calls=" + byClass[i].calls);
+            ClassCounters counters = byClass[i];
+            String prefix = PREFIX + "calls." + classNames.get(i) + ".";
+            lines.add(prefix + "success=" + counters.delivered);
+            lines.add(prefix + "busy=" + counters.rejected);
+            lines.add(prefix + "failure=" + counters.failed);
+            lines.add(prefix + "backend_calls=" + counters.attempts);
         }
-        into.add("edge_relay.backend_calls=" + calls);
+        lines.add(PREFIX + "backend_calls=" + attempts);
     }
 }
--- a/src/main/java/elderseam/core/OperatorDrains.java
+++ b/src/main/java/elderseam/core/OperatorDrains.java
@@ -13,74 +13,83 @@
 import java.util.Set;
 
 /**
- * What an operator has taken out of use, laid over the list of hosts: decisions without I/O. Whatever the list says of such a
- * host, the module sees it as draining. The last list is kept, so that a host can be shown anew when its ban begins or ends.
+ * The endpoints that an operator drains, laid over the endpoint list: whatever the list says of such an endpoint, the
+ * policy sees it as draining. Keeps the last list, so that an endpoint can be reported anew when its drain begins or
+ * ends. Does no I/O; confined to the event-loop thread.
  */
 final class OperatorDrains {
-    /** Hosts that may be detached at once, and ids that are remembered after they left the list. */
-    static final int MOST = 1_024, REMEMBERED = 4_096;
+    /** Endpoints that may be drained at once. */
+    static final int MAX_DRAINED = 1_024;
 
-    private final Set<String> detached;
+    /** Endpoint ids that are remembered after they left the list. */
+    static final int MAX_REMEMBERED = 4_096;
+
+    private final Set<String> drained;
     private final Map<String, Endpoint> listed = new LinkedHashMap<>();
-    private final Set<String> past = new LinkedHashSet<>(); // oldest first
+    private final Set<String> formerlyListed = new LinkedHashSet<>(); // oldest first
 
-    OperatorDrains(Collection<String> detached) {
-        this.detached = new HashSet<>(detached);
+    /** {@code drained}: those whose drain has outlasted the process. */
+    OperatorDrains(Collection<String> drained) {
+        this.drained = new HashSet<>(drained);
     }
 
-    /** The entries of a list as the module is to have them. */
-    List<Endpoint> over(ListKind kind, List<Endpoint> entries) {
+    /** Takes an update of the list; the entries as the policy is to see them. */
+    List<Endpoint> apply(ListKind kind, List<Endpoint> entries) {
         if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
             listed.keySet().forEach(this::remember);
             listed.clear();
         }
-        List<Endpoint> seen = new ArrayList<>(entries.size());
-        for (Endpoint e : entries) {
-            if (e.listing() == Listing.GONE) {
-                listed.remove(e.address());
-                remember(e.address());
+        List<Endpoint> visible = new ArrayList<>(entries.size());
+        for (Endpoint entry : entries) {
+            if (entry.listing() == Listing.GONE) {
+                listed.remove(entry.address());
+                remember(entry.address());
             } else {
-                listed.put(e.address(), e);
+                listed.put(entry.address(), entry);
             }
-            seen.add(seen(e));
+            visible.add(withDrain(entry));
         }
-        return seen;
+        return visible;
     }
 
     private void remember(String id) {
-        past.remove(id);
-        past.add(id);
-        if (past.size() > REMEMBERED) {
-            past.remove(past.iterator().next());
+        formerlyListed.remove(id);
+        formerlyListed.add(id);
+        if (formerlyListed.size() > MAX_REMEMBERED) {
+            formerlyListed.remove(formerlyListed.iterator().next());
         }
     }
 
-    private Endpoint seen(Endpoint e) {
-        return e.listing() == Listing.READY && detached.contains(e.address())
-                ? new Endpoint(e.address(), e.destination(), e.kind(), e.zone(), Listing.DRAINING, e.weight())
-                : e;
+    private Endpoint withDrain(Endpoint entry) {
+        if (entry.listing() != Listing.READY || !drained.contains(entry.address())) {
+            return entry;
+        }
+        return new Endpoint(
+                entry.address(), entry.destination(), entry.kind(), entry.zone(), Listing.DRAINING, entry.weight());
     }
 
-    /** Whether it is, or was, on the list, or is detached. */
+    /** Whether the endpoint is, or was lately, on the list, or is drained. */
     boolean knows(String id) {
-        return listed.containsKey(id) || detached.contains(id) || past.contains(id);
+        return listed.containsKey(id) || drained.contains(id) || formerlyListed.contains(id);
     }
 
-    boolean has(String id) {
-        return detached.contains(id);
+    /** Whether the endpoint is drained. */
+    boolean contains(String id) {
+        return drained.contains(id);
     }
 
-    boolean full() {
-        return detached.size() >= MOST;
+    /** Whether no further endpoint may be drained. */
+    boolean isFull() {
+        return drained.size() >= MAX_DRAINED;
     }
 
-    /** Begins or ends a ban; the change of the list that it makes for the module. */
-    List<Endpoint> set(String id, boolean out) {
-        if (out) {
-            detached.add(id);
+    /** Begins or ends a drain; the change of the list that this makes for the policy. */
+    List<Endpoint> set(String id, boolean drain) {
+        if (drain) {
+            drained.add(id);
         } else {
-            detached.remove(id);
+            drained.remove(id);
         }
-        return listed.containsKey(id) ? List.of(seen(listed.get(id))) : List.of();
+        return listed.containsKey(id) ? List.of(withDrain(listed.get(id))) : List.of();
     }
 }
--- a/src/main/java/elderseam/core/PolicyDecision.java
+++ b/src/main/java/elderseam/core/PolicyDecision.java
@@ -1,19 +1,19 @@
 package elderseam.core;
 
-/** What the facade picks next. */
+/** An action that the policy has decided on, for {@link DecisionLoop} to have executed. */
 sealed interface PolicyDecision {
-    /** Start an attempt, to be given up at {@code answerBy}. */
-    record Send(String id, String host, long answerBy) implements PolicyDecision {}
+    /** Begin an attempt at an endpoint, to be given up at {@code answerBy} on {@link Clock#now}. */
+    record BeginAttempt(String requestId, String endpoint, long answerBy) implements PolicyDecision {}
 
-    /** Stop waiting for an attempt. */
-    record Abandon(String id, int attempt) implements PolicyDecision {}
+    /** Stop waiting for an attempt, counted from 0. */
+    record CancelAttempt(String requestId, int attempt) implements PolicyDecision {}
 
-    /** The final answer. */
-    record End(String id, FinalOutcome answer) implements PolicyDecision {}
+    /** Complete a request. */
+    record Complete(String requestId, FinalOutcome outcome) implements PolicyDecision {}
 
-    /** Close the idle connections to a host. */
-    record CloseIdle(String host) implements PolicyDecision {}
+    /** Close the idle connections to an endpoint. */
+    record CloseIdleConnections(String endpoint) implements PolicyDecision {}
 
-    /** Ask for news of the list of hosts. */
-    record Watch() implements PolicyDecision {}
+    /** Subscribe to changes of the endpoint list. */
+    record WatchEndpoints() implements PolicyDecision {}
 }
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -10,210 +10,248 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-/** The module in blocking style: {@link #report} what happened, {@link #tick} the clock, {@link #pick} what to do. */
+/**
+ * The policy as a queue of decisions: the dispatcher reports events, {@link #tick ticks} the clock and {@link #poll
+ * polls} for decisions, where the policy itself calls back. Each method takes the time of its call; a time before an
+ * earlier one counts as the earlier one. Confined to the event-loop thread.
+ */
 final class PolicyFacade {
-    private record Timer(long at, long token) implements Comparable<Timer> {
+    private record Timer(long due, long token) implements Comparable<Timer> {
         @Override
-        public int compareTo(Timer o) {
-            return Long.compare(at, o.at);
+        public int compareTo(Timer other) {
+            return Long.compare(due, other.due);
         }
     }
 
+    private static final long NO_ORDER_KEY = -1;
+
     private final Sender.Settings settings;
-    private final DispatchPolicy brain;
+    private final DispatchPolicy policy;
     private final Consumer<String> log;
     private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private long now;
-    private boolean news;
+    private boolean eventsPending;
 
+    /** {@code seed}: of the policy's random choices; {@code log}: receives its log lines. */
     PolicyFacade(Sender.Settings settings, long seed, Consumer<String> log) {
         this.log = log;
         this.settings = settings;
-        this.brain = new DispatchPolicy(settings, seed, new Recorder());
+        this.policy = new DispatchPolicy(settings, seed, new DecisionRecorder());
     }
 
     Sender.Settings settings() {
         return settings;
     }
 
-    private void at(long time) {
+    private void advanceTo(long time) {
         now = Math.max(now, time);
-        news = true;
     }
 
-    void take(long time, ActiveRequest s) {
-        at(time);
-        if (s.attempts == 0) {
-            brain.message(now, message(s));
+    /** Advances the clock for an event, after which the policy has its turn. */
+    private void advanceForEvent(long time) {
+        advanceTo(time);
+        eventsPending = true;
+    }
+
+    // ---------------------------------------------------------------- requests
+
+    /** A request was accepted, by this process or by an earlier one. */
+    void submit(long time, ActiveRequest request) {
+        advanceForEvent(time);
+        Sender.Message message = messageOf(request);
+        if (request.attempts == 0) {
+            policy.message(now, message);
         } else {
-            brain.restored(now, message(s), s.attempts, s.mayHaveRun, s.keyUntil);
+            policy.restored(now, message, request.attempts, request.mayHaveRun, request.deduplicatedUntil);
         }
     }
 
-    /** A stream's last attempt is still out, at another process. */
-    void adopt(long time, ActiveRequest s, String host, long start) {
-        at(time);
-        brain.adopted(now, s.id(), host, start);
+    private static Sender.Message messageOf(ActiveRequest request) {
+        ActiveRequest.Message message = request.message;
+        return new Sender.Message(
+                message.id(),
+                message.classIndex(),
+                message.tenantIndex(),
+                NO_ORDER_KEY,
+                message.deadline(),
+                message.destination(),
+                message.resubmitted(),
+                message.retriesWithinKeyWindow());
     }
 
-    /** What the module has learned, told or taken over. */
-    void carry(long time, Sender.Ledger ledger) {
-        at(time);
-        brain.carry(now, ledger);
+    /** A submitted request's last attempt is still in flight in another process, since {@code start}. */
+    void adopt(long time, ActiveRequest request, String endpoint, long start) {
+        advanceForEvent(time);
+        policy.adopted(now, request.id(), endpoint, start);
     }
 
-    /** Whether a message for that destination can be taken on. */
+    /** Whether a message for that destination can be accepted. */
     boolean serves(long time, long destination) {
-        now = Math.max(now, time);
-        return brain.serves(now, destination);
+        advanceTo(time);
+        return policy.serves(now, destination);
     }
 
-    private static Sender.Message message(ActiveRequest s) {
-        ActiveRequest.Message m = s.message;
-        return new Sender.Message(
-                m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(), m.heedsWindow());
+    /** The process ends at that time. */
+    void shutDownBy(long time, long end) {
+        advanceForEvent(time);
+        policy.closing(now, end);
+    }
+
+    // ---------------------------------------------------------------- attempts
+
+    /** Whether an attempt of that request at that endpoint, decided earlier, may still be sent. */
+    boolean maySend(long time, String requestId, String endpoint) {
+        advanceTo(time);
+        return policy.mayCall(now, requestId, endpoint);
     }
 
-    /** An attempt of a stream has ended. {@code over}: nothing more is owed. */
-    void report(long time, String id, int attempt, String host, long start, EndpointCall.End end) {
-        at(time);
-        boolean over = end.status() == EndpointCall.Status.DELIVERED || end.status() == EndpointCall.Status.OVER;
-        brain.outcome(
+    /** An attempt that began at {@code start} has ended. */
+    void attemptEnded(long time, String requestId, int attempt, String endpoint, long start, AttemptOutcome outcome) {
+        advanceForEvent(time);
+        policy.outcome(
                 now,
                 new Sender.Outcome(
-                        id,
+                        requestId,
                         attempt,
-                        host,
-                        result(end),
+                        endpoint,
+                        resultOf(outcome),
                         now - start,
-                        end.waitNs(),
-                        end.status() == EndpointCall.Status.NO_SLOT,
-                        over,
-                        new Sender.Report(end.shareLeft(), end.limitPerS())));
+                        outcome.waitNs(),
+                        outcome.status() == AttemptOutcome.Status.NO_SLOT,
+                        outcome.completesRequest(),
+                        reportOf(outcome)));
     }
 
-    private static Result result(EndpointCall.End end) {
-        return switch (end.status()) {
+    private static Result resultOf(AttemptOutcome outcome) {
+        return switch (outcome.status()) {
             case DELIVERED -> Result.DELIVERED;
             case ERROR -> Result.ERROR;
             case FULL -> Result.FULL;
             case NO_SLOT, SPENT, OVER, HELD -> Result.NOT_SENT;
-            case BROKEN -> end.mayHaveRun() ? Result.RESET : Result.CONNECT_FAILED;
-            case TIMED_OUT -> end.mayHaveRun() ? Result.TIMEOUT : Result.CONNECT_FAILED;
-            case ABANDONED -> end.mayHaveRun() ? Result.CANCELLED : Result.CONNECT_FAILED;
+            case BROKEN -> outcome.mayHaveRun() ? Result.RESET : Result.CONNECT_FAILED;
+            case TIMED_OUT -> outcome.mayHaveRun() ? Result.TIMEOUT : Result.CONNECT_FAILED;
+            case ABANDONED -> outcome.mayHaveRun() ? Result.CANCELLED : Result.CONNECT_FAILED;
         };
     }
 
-    /** The answer of an attempt that had been given up: its wait and its report of a limit count, its end is past. */
-    void reportLate(long time, String host, EndpointCall.End end) {
-        at(time);
-        brain.heard(now, host, end.waitNs(), new Sender.Report(end.shareLeft(), end.limitPerS()));
+    private static Sender.Report reportOf(AttemptOutcome outcome) {
+        return new Sender.Report(outcome.shareLeft(), outcome.limitPerS());
     }
 
-    /** An answer, though late, says that the stream is done: nothing is to be sent for it any more. */
-    void delivered(long time, String id) {
-        at(time);
-        brain.withdrawn(now, id);
+    /**
+     * The response to a cancelled attempt: its Retry-After and its report of a limit count, its end has been
+     * reported.
+     */
+    void answeredLate(long time, String endpoint, AttemptOutcome outcome) {
+        advanceForEvent(time);
+        policy.heard(now, endpoint, outcome.waitNs(), reportOf(outcome));
     }
 
-    /** Nothing begins at that host for so long: another dispatcher tries it for the whole fleet. */
-    void defer(long time, String host, long ns) {
-        at(time);
-        brain.heard(now, host, ns, Sender.Report.NONE);
+    /** A late response says that the request is complete: nothing may be sent for it any more. */
+    void withdraw(long time, String requestId) {
+        advanceForEvent(time);
+        policy.withdrawn(now, requestId);
     }
 
-    /** Nobody looked at the network for so long. */
-    void away(long time, long ns) {
-        at(time);
-        brain.unseen(now, ns);
+    // ---------------------------------------------------------------- endpoints and destinations
+
+    /** The endpoint list changed, was read completely, or could not be had. */
+    void updateEndpoints(long time, Sender.ListKind kind, List<Sender.Endpoint> endpoints) {
+        advanceForEvent(time);
+        policy.endpoints(now, kind, endpoints);
     }
 
-    /** Whether a call of that stream to that host may still begin. */
-    boolean mayCall(long time, String id, String host) {
-        now = Math.max(now, time);
-        return brain.mayCall(now, id, host);
+    /** The endpoint list as the policy uses it now. */
+    Sender.Listed listed(long time) {
+        advanceTo(time);
+        return policy.listed(now);
     }
 
-    /** How each destination stands. */
-    void breakers(long time, BiConsumer<Long, Sender.Breaker> each) {
-        now = Math.max(now, time);
-        brain.breakers(now, each);
+    /** Visits the circuit breaker of each destination. */
+    void forEachBreaker(long time, BiConsumer<Long, Sender.Breaker> visitor) {
+        advanceTo(time);
+        policy.breakers(now, visitor);
     }
 
-    /** The list as the module uses it now. */
-    Sender.Listed listed(long time) {
-        now = Math.max(now, time);
-        return brain.listed(now);
+    /**
+     * Nothing begins at that endpoint for so long, in nanoseconds: another dispatcher probes it for the whole fleet.
+     */
+    void defer(long time, String endpoint, long pauseNs) {
+        advanceForEvent(time);
+        policy.heard(now, endpoint, pauseNs, Sender.Report.NONE);
     }
 
-    /** What others say of a destination. */
-    void advise(long time, long destination, double doubt, double trying) {
-        now = Math.max(now, time);
-        brain.advised(now, destination, doubt, trying);
+    /** What other dispatchers report of a destination, as {@link Sender.Events#advised} has it. */
+    void advise(long time, long destination, double suspicion, double probingDispatchers) {
+        advanceTo(time);
+        policy.advised(now, destination, suspicion, probingDispatchers);
     }
 
-    /** What this dispatcher's part is of what all do, as {@link Sender.Events#part} has it. */
-    void part(long time, int senders, Predicate<String> preferred, double retries) {
-        at(time);
-        brain.part(now, senders, preferred, retries);
+    /** This dispatcher's share of the fleet's work, as {@link Sender.Events#part} has it. */
+    void setFleetShare(long time, int dispatchers, Predicate<String> preferred, double retryRatio) {
+        advanceForEvent(time);
+        policy.part(now, dispatchers, preferred, retryRatio);
     }
 
-    /** The list of hosts changed, was told whole, or could not be had. */
-    void report(long time, Sender.ListKind kind, List<Sender.Endpoint> hosts) {
-        at(time);
-        brain.endpoints(now, kind, hosts);
+    // ---------------------------------------------------------------- time and state
+
+    /** The event loop was stalled for so long, in nanoseconds: silence in that time is no endpoint's fault. */
+    void eventLoopStalled(long time, long stallNs) {
+        advanceForEvent(time);
+        policy.unseen(now, stallNs);
     }
 
-    /** The process is to end at that time. */
-    void closing(long time, long end) {
-        at(time);
-        brain.closing(now, end);
+    /** Passes the policy's learned state through a ledger, which either records or replaces it. */
+    void transferState(long time, Sender.Ledger ledger) {
+        advanceForEvent(time);
+        policy.carry(now, ledger);
     }
 
-    /** Moves the clock. */
+    /** Advances the clock and fires the timers that are due. */
     void tick(long time) {
-        now = Math.max(now, time);
-        while (!timers.isEmpty() && timers.peek().at <= now) {
-            news = true;
-            brain.timer(now, timers.poll().token);
+        advanceTo(time);
+        while (!timers.isEmpty() && timers.peek().due <= now) {
+            eventsPending = true;
+            policy.timer(now, timers.poll().token);
         }
     }
 
-    /** When it wants the next tick. */
-    long next() {
-        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+    /** When the next tick is due, or {@link Long#MAX_VALUE}. */
+    long nextTick() {
+        return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().due;
     }
 
-    /** The next thing to do now, or null. */
-    PolicyDecision pick(long time) {
-        now = Math.max(now, time);
-        if (decisions.isEmpty() && news) {
-            news = false;
-            brain.turnEnd(now);
+    /** The next decision, or null if there is none now. */
+    PolicyDecision poll(long time) {
+        advanceTo(time);
+        if (decisions.isEmpty() && eventsPending) {
+            eventsPending = false;
+            policy.turnEnd(now);
         }
         return decisions.poll();
     }
 
-    private final class Recorder implements Sender.Actions {
+    /** Queues what the policy asks for. */
+    private final class DecisionRecorder implements Sender.Actions {
         @Override
         public void send(String id, String endpoint, long stopAt) {
-            decisions.add(new PolicyDecision.Send(id, endpoint, stopAt));
+            decisions.add(new PolicyDecision.BeginAttempt(id, endpoint, stopAt));
         }
 
         @Override
         public void cancel(String id, int attempt) {
-            decisions.add(new PolicyDecision.Abandon(id, attempt));
+            decisions.add(new PolicyDecision.CancelAttempt(id, attempt));
         }
 
         @Override
         public void refuse(String id, long retryAfterNs) {
-            decisions.add(new PolicyDecision.End(id, FinalOutcome.refused(retryAfterNs)));
+            decisions.add(new PolicyDecision.Complete(id, FinalOutcome.rejected(retryAfterNs)));
         }
 
         @Override
         public void fail(String id) {
-            decisions.add(new PolicyDecision.End(id, FinalOutcome.FAILED));
+            decisions.add(new PolicyDecision.Complete(id, FinalOutcome.FAILED));
         }
 
         @Override
@@ -223,17 +261,17 @@
 
         @Override
         public void disconnect(String endpoint) {
-            decisions.add(new PolicyDecision.CloseIdle(endpoint));
+            decisions.add(new PolicyDecision.CloseIdleConnections(endpoint));
         }
 
         @Override
         public void subscribe() {
-            decisions.add(new PolicyDecision.Watch());
+            decisions.add(new PolicyDecision.WatchEndpoints());
         }
 
         @Override
-        public void log(String words) {
-            log.accept(words);
+        public void log(String line) {
+            log.accept(line);
         }
     }
 }
--- a/src/main/java/elderseam/core/PolicySnapshotCodec.java
+++ b/src/main/java/elderseam/core/PolicySnapshotCodec.java
@@ -8,17 +8,29 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
-/** What the module has learned, as bytes for another process of the same machine; bytes that stop short are an exception. */
+/**
+ * The policy's learned state as bytes, for another process of the same machine. Begins with the writer's {@link
+ * Clock#now} and wall clock, by which the reader moves times to its own clock. Writer and reader are confined to one
+ * thread.
+ */
 final class PolicySnapshotCodec {
-    /** A time so far from now is none: a mark for never, or not yet. */
-    private static final long FAR_NS = 30L * 24 * 3_600 * 1_000_000_000L;
-    /** Both clocks are the machine's on Linux; less than this is the rounding of the wall clock. */
-    private static final long SAME_NS = 20 * Clock.MS;
+    /** A value farther than this from now is no time but a mark for never, or not yet. */
+    private static final long MAX_TIME_DISTANCE_NS = 30L * 24 * 3_600 * 1_000 * Clock.MS;
+
+    /** On Linux both processes share the monotonic clock; a shift below this is the rounding of the wall clock. */
+    private static final long CLOCK_ROUNDING_NS = 20 * Clock.MS;
+
+    private static final int INITIAL_BYTES = 16 << 10;
 
     private PolicySnapshotCodec() {}
 
+    private static boolean isTime(long value, long now) {
+        return value != 0 && value > now - MAX_TIME_DISTANCE_NS && value < now + MAX_TIME_DISTANCE_NS;
+    }
+
+    /** Records each value that the policy passes through. */
     static final class Writer implements Ledger {
-        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(16 << 10);
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
         private final DataOutputStream out = new DataOutputStream(bytes);
         private final long now;
 
@@ -28,6 +40,7 @@
             whole(clock.wallMs());
         }
 
+        /** All that was written so far. */
         byte[] bytes() {
             return bytes.toByteArray();
         }
@@ -37,7 +50,7 @@
             try {
                 out.writeLong(value);
             } catch (IOException e) {
-                throw new UncheckedIOException(e); // memory doesn't fail so
+                throw new UncheckedIOException(e); // cannot happen in memory
             }
             return value;
         }
@@ -59,36 +72,40 @@
             try {
                 out.writeUTF(value);
             } catch (IOException e) {
-                throw new UncheckedIOException(e);
+                throw new UncheckedIOException(e); // only for a text above 65,535 bytes
             }
             return value;
         }
     }
 
-    private static boolean isTime(long value, long now) {
-        return value != 0 && value > now - FAR_NS && value < now + FAR_NS;
-    }
-
+    /**
+     * Gives back what was written, in the same order, in place of the values that the policy passes. Every method
+     * throws {@link UncheckedIOException} where the bytes end early.
+     */
     static final class Reader implements Ledger {
         private final DataInputStream in;
-        private final long shift, now;
-        private final boolean anew;
-        /** How long ago it was written, by the wall clock. */
-        final long agoNs;
-
-        /** {@code anew}: the process that wrote it is dead, and its waits have ended with it. */
-        Reader(byte[] bytes, Clock clock, boolean anew) {
-            this.anew = anew;
+        private final long now;
+        private final long clockShiftNs;
+        private final boolean restarted;
+
+        /** How long ago the snapshot was written, by the wall clock, in nanoseconds. */
+        final long ageNs;
+
+        /** {@code restarted}: the process that wrote it is dead, and a Retry-After ended with it. */
+        Reader(byte[] bytes, Clock clock, boolean restarted) {
+            this.restarted = restarted;
             now = clock.now();
             in = new DataInputStream(new ByteArrayInputStream(bytes));
-            long theirs = whole(0), wallMs = whole(0);
-            agoNs = (clock.wallMs() - wallMs) * Clock.MS;
-            long by = now - theirs - (clock.wallMs() - wallMs) * Clock.MS;
-            shift = Math.abs(by) < SAME_NS ? 0 : by;
+            long writtenAt = whole(0);
+            long writtenAtWallMs = whole(0);
+            long wallMs = clock.wallMs();
+            ageNs = (wallMs - writtenAtWallMs) * Clock.MS;
+            long shift = now - writtenAt - ageNs;
+            clockShiftNs = Math.abs(shift) < CLOCK_ROUNDING_NS ? 0 : shift;
         }
 
         @Override
-        public long whole(long none) {
+        public long whole(long replaced) {
             try {
                 return in.readLong();
             } catch (IOException e) {
@@ -97,24 +114,24 @@
         }
 
         @Override
-        public double real(double none) {
+        public double real(double replaced) {
             return Double.longBitsToDouble(whole(0));
         }
 
         @Override
-        public long time(long none) {
-            boolean moves = flag(false);
+        public long time(long replaced) {
+            boolean isTime = flag(false);
             long value = whole(0);
-            return moves ? value + shift : value;
+            return isTime ? value + clockShiftNs : value;
         }
 
         @Override
         public long ends(long wait) {
-            return anew ? Math.min(wait, now) : wait;
+            return restarted ? Math.min(wait, now) : wait;
         }
 
         @Override
-        public String text(String none) {
+        public String text(String replaced) {
             try {
                 return in.readUTF();
             } catch (IOException e) {
