--- a/src/main/java/elderseam/core/PolicySnapshotStore.java
+++ b/src/main/java/elderseam/core/PolicySnapshotStore.java
@@ -2,72 +2,86 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.Optional;
 import java.util.zip.CRC32;
 
 /**
- * What the module has learned, beside the journal, so that a process that was killed does not begin by knocking at what was
- * shut: breakers, told waits, paces. One write over the last one each second; the page cache outlives the process, so nothing
- * is synced, and a checksum tells what was half written. It is a help and no debt: whatever can't be used is passed over.
+ * The file that holds the policy's last snapshot: breakers, Retry-After times, rates. Each snapshot is written over
+ * the last one. The page cache outlives the process, so nothing is synced, and a checksum detects what was half
+ * written; whatever cannot be used is ignored.
  *
- * <p>Layout: checksum of the rest (8 bytes), length (4), the shape of the settings (4), the ledger.
+ * <p>Layout: checksum of the rest (8 bytes), length (4), shape of the settings (4), snapshot.
  */
 final class PolicySnapshotStore {
-    /** The most that is kept, and set aside of the disk. */
-    static final int MOST = 64 << 10;
-    /** What is older says nothing of now. */
-    static final long FRESH_NS = 60_000 * Clock.MS;
+    /** The largest file that is written or read, in bytes. */
+    static final int MAX_BYTES = 64 << 10;
 
-    private static final int HEAD = 16;
+    /** A snapshot older than this says nothing of the present. */
+    static final long MAX_AGE_NS = 60_000 * Clock.MS;
+
+    private static final int LENGTH_OFFSET = 8;
+    private static final int SHAPE_OFFSET = 12;
+    private static final int HEADER_BYTES = 16;
 
     private final JournalStore store;
     private final int shape;
-    private int written; // of the last one, so that a shorter one leaves no tail
+    private int lastBytes;
 
-    /** {@code shape}: of the settings that a ledger belongs to; one of another shape is passed over. */
+    /** {@code shape}: of the settings that a snapshot belongs to; one of another shape is ignored. */
     PolicySnapshotStore(JournalStore store, int shape) {
         this.store = store;
         this.shape = shape;
     }
 
-    /** Keeps a ledger in the last one's place; one that is too long is left out, and the last one stays until it is old. */
-    void keep(byte[] ledger) throws IOException {
-        if (HEAD + ledger.length > MOST) {
+    /**
+     * Saves a snapshot in the last one's place; one that is too long is dropped, and the last one stays until it is
+     * old.
+     */
+    void save(byte[] snapshot) throws IOException {
+        int bytes = HEADER_BYTES + snapshot.length;
+        if (bytes > MAX_BYTES) {
             return;
         }
-        ByteBuffer b = ByteBuffer.allocate(HEAD + ledger.length)
-                .putLong(0)
-                .putInt(ledger.length)
-                .putInt(shape)
-                .put(ledger);
-        b.putLong(0, checksum(b.array()));
-        store.write(b.array(), 0);
-        if (b.capacity() < written) {
-            store.truncate(b.capacity());
+        ByteBuffer file = ByteBuffer.allocate(bytes);
+        file.putInt(LENGTH_OFFSET, snapshot.length);
+        file.putInt(SHAPE_OFFSET, shape);
+        file.position(HEADER_BYTES);
+        file.put(snapshot);
+        file.putLong(0, checksum(file.array()));
+        store.write(file.array(), 0);
+        if (bytes < lastBytes) {
+            store.truncate(bytes);
         }
-        written = b.capacity();
+        lastBytes = bytes;
     }
 
-    /** The ledger that was kept last, or null: there is none, or it is torn, too long or of another shape. */
-    byte[] kept() throws IOException {
+    /** The snapshot that was saved last; empty if there is none, or if it is torn, too long or of another shape. */
+    Optional<byte[]> load() throws IOException {
         long length = store.length();
-        if (length < HEAD || length > MOST) {
-            return null;
+        if (length < HEADER_BYTES || length > MAX_BYTES) {
+            return Optional.empty();
+        }
+        ByteBuffer file = ByteBuffer.allocate((int) length);
+        int read = 0;
+        while (file.hasRemaining() && read >= 0) {
+            read = store.read(file, file.position());
         }
-        ByteBuffer b = ByteBuffer.allocate((int) length);
-        for (int n = 0; b.hasRemaining() && n >= 0; ) {
-            n = store.read(b, b.position());
+        int size = file.getInt(LENGTH_OFFSET);
+        boolean fits = size >= 0 && size <= length - HEADER_BYTES;
+        if (file.hasRemaining() || !fits || file.getInt(SHAPE_OFFSET) != shape) {
+            return Optional.empty();
         }
-        int size = b.getInt(8);
-        if (b.hasRemaining() || size < 0 || size > length - HEAD || b.getInt(12) != shape) {
-            return null;
+        byte[] used = Arrays.copyOf(file.array(), HEADER_BYTES + size);
+        if (checksum(used) != file.getLong(0)) {
+            return Optional.empty();
         }
-        byte[] all = java.util.Arrays.copyOf(b.array(), HEAD + size);
-        return checksum(all) == b.getLong(0) ? java.util.Arrays.copyOfRange(all, HEAD, all.length) : null;
+        return Optional.of(Arrays.copyOfRange(used, HEADER_BYTES, used.length));
     }
 
-    private static long checksum(byte[] all) {
+    private static long checksum(byte[] file) {
         CRC32 crc = new CRC32();
-        crc.update(all, 8, all.length - 8);
+        crc.update(file, LENGTH_OFFSET, file.length - LENGTH_OFFSET);
         return crc.getValue();
     }
 }
--- a/src/main/java/elderseam/core/RequestAttributes.java
+++ b/src/main/java/elderseam/core/RequestAttributes.java
@@ -2,24 +2,29 @@
 
 import java.util.Map;
 
-/** What a front knows of a request besides its message, for the operator's rules; fetched only where a rule asks. */
+/**
+ * What a frontend knows of a request besides its message, for the operator's rules. Each is computed only when a rule
+ * asks for it. Confined to the event-loop thread.
+ */
 public interface RequestAttributes {
-    /** Such as {@code platform} or {@code events}. */
+    /** The frontend's name, such as {@code platform} or {@code events}. */
     String front();
 
+    /** The HTTP method. */
     String method();
 
+    /** The HTTP path. */
     String path();
 
-    /** By their names in small letters; of one told more than once the first. */
+    /** The headers by their names in lower case; of a repeated one the first. */
     Map<String, String> headers();
 
-    /** The client's address, without a port; empty where it is not known. */
+    /** The client's address without a port; empty where it is not known. */
     String source();
 
-    /** Of an event: its attributes and extensions by name; else empty. */
+    /** The attributes and extensions of an event by name; otherwise empty. */
     Map<String, String> attributes();
 
-    /** What the message carries. */
+    /** The message's body. Nobody may modify it. */
     byte[] body();
 }
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -2,426 +2,384 @@
 
 import elderseam.policy.Sender;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
 /**
- * Takes streams on, carries out what the module decides and sees to it that each ends once. Owned by one thread;
- * nothing here blocks.
+ * Accepts requests, executes the policy's decisions, and guarantees exactly one final outcome per request. Confined
+ * to the event-loop thread; no method blocks but for the journal's writes, which are not synced.
  */
 public final class RequestDispatcher {
-    /** A destination that no list has: what is to go there is never taken on, whatever any rule says. */
-    public static final long NOWHERE = 999_999_999_999_999_999L;
+    /** A destination that is on no endpoint list: a message for it is never accepted, whatever any rule says. */
+    public static final long NO_DESTINATION = 999_999_999_999_999_999L;
 
-    static final long ROOM_AGAIN_NS = 1_000 * Clock.MS;
-    /** Kept of a stream's time to tell its end in: a thread that is late for so long still tells it in time. */
-    static final long TELLING_NS = 80 * Clock.MS;
-
-    private static final long LOOK_NS = 5 * Clock.MS;
+    /** What a client is told to wait that was rejected for want of capacity. */
+    static final long CAPACITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
 
     private final Sender.Settings settings;
-    private final PolicyFacade facade;
+    private final PolicyFacade policy;
     private final Journal journal;
     private final Clock clock;
     private final EventLoop loop;
-    private final Map<Byte, Frontend> fronts = new HashMap<>();
-    private final Map<String, ActiveRequest> streams = new HashMap<>();
-    private final DuplicateRequests copies;
-    private final OperatorDrains detached;
-    private final Metrics figures;
+    private final Map<Byte, Frontend> frontends = new HashMap<>();
+    private final Map<String, ActiveRequest> requests = new HashMap<>();
+    private final DuplicateRequests duplicates;
+    private final OperatorDrains drains;
+    private final Metrics metrics;
     private final AttemptTracker attempts;
     private final Handover handover;
-    private Runnable watch = () -> {};
-    private boolean turning, postponed, recovering;
-    private long tickAt = Long.MAX_VALUE;
+    private final PolicySnapshots snapshots;
+    private final DecisionExecutor executor;
+    private final DecisionLoop decisions;
+    private boolean recovering;
 
+    /** A dispatcher whose policy logs to standard error. */
     public RequestDispatcher(Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
-        this(settings, seed, journal, clock, loop, words -> System.err.println("module: " + words));
+        this(settings, seed, journal, clock, loop, line -> System.err.println("module: " + line));
     }
 
-    /** {@code log}: where the module's words go. */
+    /**
+     * @param seed of the policy's random choices
+     * @param log receives the policy's log lines
+     */
     public RequestDispatcher(
             Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
-        this.detached = new OperatorDrains(journal.detached());
-        this.figures = new Metrics(settings.classes().size());
-        this.copies = new DuplicateRequests(journal, clock, loop, fronts, figures);
-        this.facade = new PolicyFacade(settings, seed, log);
-        this.attempts = new AttemptTracker(this, settings, facade, journal, clock, loop, figures);
-        this.handover = new Handover(this, attempts, facade, journal, clock, loop);
+        this.drains = new OperatorDrains(journal.drainedEndpoints());
+        this.metrics = new Metrics(settings.classes().size());
+        this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics);
+        this.policy = new PolicyFacade(settings, seed, log);
+        this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics);
+        this.handover = new Handover(this, attempts, policy, journal, clock, loop);
+        this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
+        this.executor = new DecisionExecutor(this, attempts);
+        this.decisions = new DecisionLoop(executor, policy, clock, loop);
     }
 
-    /** Names a front, and who carries what it took on. */
-    public void front(byte number, Frontend front, AttemptSender upstream) {
-        fronts.put(number, front);
-        attempts.upstream(number, upstream);
+    /** Registers a frontend under its number, and the sender of the attempts of what it submits. */
+    public void registerFrontend(byte number, Frontend frontend, AttemptSender sender) {
+        frontends.put(number, frontend);
+        attempts.registerSender(number, sender);
     }
 
-    /** {@code watch} is run when news of the list of hosts is wanted. */
-    public void onWatch(Runnable watch) {
-        this.watch = watch;
+    /** Sets what is run when the policy asks for changes of the endpoint list. */
+    public void onWatchRequested(Runnable watchRequested) {
+        executor.onWatchRequested(watchRequested);
     }
 
-    /** The list of hosts, or that it could not be had. */
-    public void hosts(Sender.ListKind kind, List<Sender.Endpoint> hosts) {
-        if (!handover.passedOn()) {
-            facade.report(clock.now(), kind, detached.over(kind, hosts));
-            turn();
+    /** Takes an update of the endpoint list, or that none could be had. Ignored after a handover. */
+    public void updateEndpoints(Sender.ListKind kind, List<Sender.Endpoint> endpoints) {
+        if (!handover.isTransferred()) {
+            policy.updateEndpoints(clock.now(), kind, drains.apply(kind, endpoints));
+            decisions.run();
         }
     }
 
-    /** What came of an operator's word on a host. */
-    public enum Detaching {
-        DONE,
-        UNKNOWN,
-        NO_ROOM
-    }
-
     /**
-     * An operator takes a host out of use, or gives it back; either may come again. It is in the journal before this returns,
-     * so it outlasts the process, and whatever the list says meanwhile the module sees the host as draining.
+     * Begins or ends an operator's drain of an endpoint; repeating either has no effect. It is in the journal before
+     * this returns, so it outlasts the process. While it lasts the policy sees the endpoint as draining, whatever the
+     * list says.
      */
-    public Detaching detach(String host, boolean out) {
-        if (!detached.knows(host)) {
-            return Detaching.UNKNOWN;
+    public DrainResult setDrained(String endpoint, boolean drained) {
+        if (!drains.knows(endpoint)) {
+            return DrainResult.UNKNOWN_ENDPOINT;
         }
-        if (out && !detached.has(host) && detached.full() || !journal.detach(host, out)) {
-            return Detaching.NO_ROOM;
+        boolean changes = drains.contains(endpoint) != drained;
+        boolean exceedsLimit = drained && changes && drains.isFull();
+        if (exceedsLimit || !journal.setDrained(endpoint, drained)) {
+            return DrainResult.NO_CAPACITY;
         }
-        if (detached.has(host) != out) {
-            facade.report(clock.now(), Sender.ListKind.CHANGES, detached.set(host, out));
-            turn();
+        if (changes) {
+            policy.updateEndpoints(clock.now(), Sender.ListKind.CHANGES, drains.set(endpoint, drained));
+            decisions.run();
         }
-        return Detaching.DONE;
+        return DrainResult.APPLIED;
     }
 
-    /** The figures, a line each; {@code classes}: their names. */
-    public List<String> figures(List<String> classes) {
+    /** The metrics, one {@code NAME=NUMBER} line each; {@code classNames} in the order of the settings. */
+    public List<String> metricLines(List<String> classNames) {
         List<String> lines = new ArrayList<>();
-        figures.lines(classes, lines);
-        Sender.Listed listed = facade.listed(clock.now());
-        lines.add("edge_relay.inflight=" + held());
+        metrics.appendLines(classNames, lines);
+        Sender.Listed listed = policy.listed(clock.now());
+        lines.add("edge_relay.inflight=" + requestsInFlight());
         lines.add("edge_relay.hosts_listed=" + listed.hosts());
         lines.add("edge_relay.hosts_down=" + listed.down());
         return lines;
     }
 
     /**
-     * Takes back what the journal holds unfinished, as {@link Recovery} says, with a pass over the sockets between two
-     * portions; answers that an earlier process still owed go to their fronts first. {@code ready} is run once, when
-     * the process may call itself ready; {@code untold}: answers that the fronts have yet to tell.
+     * Takes back what the journal holds unfinished, in the portions of {@link RecoverySchedule}, with a pass over the
+     * sockets between two portions. Outcomes that an earlier process still owed go to their frontends first.
+     *
+     * @param unsentNotifications counts the notifications that the frontends have yet to send
+     * @param onReady run once, when the process may report itself ready
      */
-    public void recover(IntSupplier untold, Runnable ready) {
-        List<ActiveRequest> back = journal.unfinished(handover.adopted());
-        back.forEach(this::takenBack);
-        copies.recover();
-        journal.owed().forEach((message, answer) -> fronts.get(message.front()).ended(message, answer));
-        Recovery recovery = new Recovery(back, settings.classes(), settings.slots(), clock.now());
-        boolean[] told = new boolean[1];
-        loop.at(recovery.latest(), () -> readyOnce(told, ready));
-        recover(recovery, untold, told, ready);
-    }
-
-    /** One that an earlier process had taken on. */
-    void takenBack(ActiveRequest s) {
-        if (s.mayHaveRun) {
-            s.keyUntil += settings.classes().get(s.message.cls()).keyWindowNs();
+    public void recover(IntSupplier unsentNotifications, Runnable onReady) {
+        List<ActiveRequest> unfinished = journal.unfinished(handover.adopted());
+        unfinished.forEach(this::restore);
+        duplicates.recover();
+        journal.owedOutcomes()
+                .forEach((message, outcome) -> frontends.get(message.frontend()).completed(message, outcome));
+        RecoverySchedule schedule = new RecoverySchedule(unfinished, settings.classes(), settings.slots(), clock.now());
+        new RecoveryRunner(this, schedule, clock, loop, unsentNotifications, onReady).start();
+    }
+
+    /** Holds a request that an earlier process had accepted; the policy does not know of it yet. */
+    void restore(ActiveRequest request) {
+        ActiveRequest.Message message = request.message;
+        if (request.mayHaveRun) {
+            request.deduplicatedUntil +=
+                    settings.classes().get(message.classIndex()).keyWindowNs();
         }
-        s.owned = true;
-        streams.put(s.id(), s);
-        if (!s.message.same().isEmpty()) {
-            copies.leads(s);
+        request.acknowledged = true;
+        requests.put(request.id(), request);
+        if (message.hasDeduplicationKey()) {
+            duplicates.lead(request);
         }
     }
 
-    private void recover(Recovery recovery, IntSupplier untold, boolean[] told, Runnable ready) {
-        fronts.values().forEach(Frontend::tell);
-        Runnable again = () -> recover(recovery, untold, told, ready);
-        if (loop.late()) {
-            loop.afterReading(again);
-            return;
-        }
-        long start = clock.now();
-        List<ActiveRequest> portion = recovery.next();
-        for (ActiveRequest s : portion) {
-            if (streams.get(s.id()) == s) {
-                facade.take(clock.now(), s);
+    /** Submits restored requests to the policy, those that are still in flight, and carries out what it decides. */
+    void resubmit(Collection<ActiveRequest> restored) {
+        for (ActiveRequest request : restored) {
+            if (requests.get(request.id()) == request) {
+                policy.submit(clock.now(), request);
             }
         }
-        turn();
-        recovery.took(clock.now() - start);
-        if (recovery.ready(clock.now(), untold.getAsInt())) {
-            readyOnce(told, ready);
-        }
-        recovering = recovery.stage() != Recovery.Stage.DONE || !told[0];
-        if (recovery.stage() != Recovery.Stage.DONE) {
-            loop.afterReading(again);
-        } else if (recovering) { // answers are under way
-            loop.at(clock.now() + LOOK_NS, again);
-        }
+        decisions.run();
     }
 
-    private static void readyOnce(boolean[] told, Runnable ready) {
-        if (!told[0]) {
-            told[0] = true;
-            ready.run();
-        }
+    /** Whether a recovery is under way. */
+    void setRecovering(boolean recovering) {
+        this.recovering = recovering;
     }
 
-    /** Nobody looked at the network for so long; what had arrived meanwhile has been read. */
-    public void away(long ns) {
-        facade.away(clock.now(), ns);
-        turn();
+    /** The event loop was stalled for so long, in nanoseconds; what had arrived meanwhile has been read. */
+    public void eventLoopStalled(long stallNs) {
+        policy.eventLoopStalled(clock.now(), stallNs);
+        decisions.run();
     }
 
-    /**
-     * Takes a stream on, or gives its final answer at once: null means taken on, or held already. What ends here
-     * is not told to the front again. While the thread is late it is taken on without a decision, which follows.
-     */
-    public FinalOutcome take(ActiveRequest.Message message) {
-        return take(message, List.of());
+    /** As {@link #submit(ActiveRequest.Message, List)}, of a message without alternate deduplication keys. */
+    public Optional<FinalOutcome> submit(ActiveRequest.Message message) {
+        return submit(message, List.of());
     }
 
-    /** The same, of a message that may be known by further keys too: a copy waits for the end of the first, or gets it. */
-    public FinalOutcome take(ActiveRequest.Message message, List<String> also) {
-        if (handover.passedOn()) { // it was not passed on; nothing was taken
-            return FinalOutcome.refused(ROOM_AGAIN_NS);
+    /**
+     * Accepts a message, or answers it at once. While the event loop is stalled a message is accepted without a
+     * decision, which follows. A duplicate of a message in flight is accepted and shares the outcome of the first.
+     *
+     * @param alternateKeys further deduplication keys by which an earlier duplicate may be known
+     * @return empty when the message is accepted, or was before: its outcome goes to the frontend later. Otherwise
+     *     the final outcome, which does not go to the frontend again.
+     */
+    public Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
+        if (handover.isTransferred()) { // too late to be part of the handover; nothing was accepted
+            return Optional.of(FinalOutcome.rejected(CAPACITY_RETRY_AFTER_NS));
         }
-        FinalOutcome known = journal.answer(message.id());
-        if (known != null || holds(message.id())) {
+        Optional<FinalOutcome> known = journal.outcome(message.id());
+        if (known.isPresent() || isInFlight(message.id())) {
             return known;
         }
-        if (!message.same().isEmpty() || !also.isEmpty()) {
-            known = copies.answerOf(message.same(), also);
-            ActiveRequest first = known == null ? copies.first(message.same(), also) : null;
-            if (known != null || first != null) {
-                return known != null ? known : room() && copies.join(message, first) ? null : turnedAway(message);
+        if (message.hasDeduplicationKey() || !alternateKeys.isEmpty()) {
+            Optional<FinalOutcome> shared = duplicates.outcome(message.deduplicationKey(), alternateKeys);
+            if (shared.isPresent()) {
+                return shared;
+            }
+            Optional<ActiveRequest> first = duplicates.first(message.deduplicationKey(), alternateKeys);
+            if (first.isPresent()) {
+                boolean joined = hasCapacity() && duplicates.join(message, first.get());
+                return joined ? Optional.empty() : Optional.of(reject(message));
             }
         }
-        ActiveRequest s = new ActiveRequest(message);
-        if (!facade.serves(clock.now(), message.destination()) || !room() || !journal.taken(message)) {
-            return turnedAway(message);
+        if (!policy.serves(clock.now(), message.destination()) || !hasCapacity() || !journal.accepted(message)) {
+            return Optional.of(reject(message));
         }
-        streams.put(s.id(), s);
-        if (!message.same().isEmpty()) {
-            copies.leads(s);
+        return Optional.ofNullable(accept(message));
+    }
+
+    /** Holds an accepted message; its outcome where the policy decides it at once, or null. */
+    private FinalOutcome accept(ActiveRequest.Message message) {
+        ActiveRequest request = new ActiveRequest(message);
+        requests.put(request.id(), request);
+        if (message.hasDeduplicationKey()) {
+            duplicates.lead(request);
         }
-        facade.take(clock.now(), s);
-        turn();
-        s.owned = s.answer == null;
-        return s.answer;
+        policy.submit(clock.now(), request);
+        decisions.run();
+        request.acknowledged = request.outcome == null;
+        return request.outcome;
     }
 
-    private FinalOutcome turnedAway(ActiveRequest.Message message) {
-        FinalOutcome answer = FinalOutcome.refused(ROOM_AGAIN_NS);
-        if (message.destination() != NOWHERE) { // that is the program's own, at its start
-            figures.ended(message.cls(), answer);
+    private FinalOutcome reject(ActiveRequest.Message message) {
+        FinalOutcome outcome = FinalOutcome.rejected(CAPACITY_RETRY_AFTER_NS);
+        if (message.destination() != NO_DESTINATION) { // such a message is the program's own, at its start
+            metrics.requestCompleted(message.classIndex(), outcome);
         }
-        return answer;
+        return outcome;
     }
 
-    private boolean room() {
-        return streams.size() + copies.size() < settings.mostHeld();
+    private boolean hasCapacity() {
+        return requestsInFlight() < settings.mostHeld();
     }
 
-    /** Whether that message is under way, or its end is remembered. */
-    public boolean knows(String id) {
-        return holds(id) || journal.answer(id) != null;
+    /** Whether that message is in flight, or its outcome is remembered. */
+    public boolean isKnown(String id) {
+        return isInFlight(id) || journal.outcome(id).isPresent();
     }
 
-    /** Whether a message with one of these keys is under way, or its end is remembered. */
-    public boolean knows(String same, List<String> also) {
-        return copies.first(same, also) != null || copies.answerOf(same, also) != null;
+    /** Whether a message with one of these deduplication keys is in flight, or its outcome is remembered. */
+    public boolean isKnown(String deduplicationKey, List<String> alternateKeys) {
+        return duplicates.first(deduplicationKey, alternateKeys).isPresent()
+                || duplicates.outcome(deduplicationKey, alternateKeys).isPresent();
     }
 
-    /** Whether that stream is held and not ended. */
-    public boolean holds(String id) {
-        return streams.containsKey(id) || copies.waits(id);
+    private boolean isInFlight(String id) {
+        return requests.containsKey(id) || duplicates.isWaiting(id);
     }
 
-    /** Messages that may be held at once. */
-    public int mostHeld() {
-        return settings.mostHeld();
+    /** Begins to count the attempts in flight by destination too. */
+    public void countAttemptsByDestination() {
+        attempts.countByDestination();
     }
 
-    /** From now on the calls out are counted by destination too. */
-    public void countOut() {
-        attempts.countOut();
+    /** Attempts in flight to a destination, of those begun since {@link #countAttemptsByDestination}. */
+    public int attemptsInFlight(long destination) {
+        return attempts.inFlight(destination);
     }
 
-    /** Calls out to a destination, where they are counted. */
-    public int out(long destination) {
-        return attempts.out(destination);
+    /** Attempts in flight. */
+    public int attemptsInFlight() {
+        return attempts.inFlight();
     }
 
-    /** The front has told the client the answer; nothing is owed any more. */
-    public void told(String id) {
-        journal.told(id);
+    /** Requests that are accepted and without an outcome, duplicates that wait included. */
+    public int requestsInFlight() {
+        return requests.size() + duplicates.waiting();
     }
 
-    /** The process ends at that time: what is out is settled, nothing is begun that would hardly be. */
-    public void closing(long end) {
-        facade.closing(clock.now(), end);
-        turn();
+    /** The client of that message has been notified of its outcome. */
+    public void markNotified(String id) {
+        journal.notified(id);
     }
 
-    /** How each destination stands, for those who share it. */
-    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
-        facade.breakers(clock.now(), each);
+    /** Announces that the process ends at that time: nothing begins that would hardly be answered before it. */
+    public void shutDownBy(long end) {
+        policy.shutDownBy(clock.now(), end);
+        decisions.run();
     }
 
-    /** What others say of a destination: it weighs own failures, and decides nothing by itself. */
-    public void advise(long destination, double doubt, double trying) {
-        facade.advise(clock.now(), destination, doubt, trying);
+    /** Visits the circuit breaker of each destination. */
+    public void forEachBreaker(BiConsumer<Long, Sender.Breaker> visitor) {
+        policy.forEachBreaker(clock.now(), visitor);
     }
 
-    /** What this dispatcher's part is of what all do, until told otherwise: as {@link Sender.Events#part} has it. */
-    public void part(int senders, Predicate<String> preferred, double retries) {
-        facade.part(clock.now(), senders, preferred, retries);
-        turn();
+    /**
+     * Takes what other dispatchers report of a destination: it weighs this one's own failures, and decides nothing
+     * alone.
+     *
+     * @param suspicion 0 to 1: how much less own evidence trips the breaker
+     * @param probingDispatchers how many dispatchers will probe the destination about when it returns
+     */
+    public void advise(long destination, double suspicion, double probingDispatchers) {
+        policy.advise(clock.now(), destination, suspicion, probingDispatchers);
     }
 
-    /** Nothing begins at these hosts for so long, as after a told wait: another dispatcher tries them for the whole fleet. */
-    public void defer(List<String> hosts, long ns) {
-        hosts.forEach(h -> facade.defer(clock.now(), h, ns));
+    /**
+     * Sets this dispatcher's share of the fleet's work until further notice, as {@link Sender.Events#part} has it.
+     */
+    public void setFleetShare(int dispatchers, Predicate<String> preferred, double retryRatio) {
+        policy.setFleetShare(clock.now(), dispatchers, preferred, retryRatio);
+        decisions.run();
     }
 
-    /** The work on its way from one process to the next. */
-    public Handover handover() {
-        return handover;
+    /**
+     * Begins no attempt at these endpoints for so long, as after a Retry-After: another dispatcher probes them for
+     * the fleet.
+     */
+    public void defer(List<String> endpoints, long pauseNs) {
+        endpoints.forEach(endpoint -> policy.defer(clock.now(), endpoint, pauseNs));
     }
 
-    /** That stream, or null where it is not held or has ended. */
-    ActiveRequest stream(String id) {
-        return streams.get(id);
+    /** The transfer of requests from one process to the next. */
+    public Handover handover() {
+        return handover;
     }
 
-    java.util.stream.Stream<ActiveRequest> streams() {
-        return streams.values().stream();
+    /** The policy's state on disk, over a crash. */
+    public PolicySnapshots snapshots() {
+        return snapshots;
     }
 
-    public int held() {
-        return streams.size() + copies.size();
+    /** That request, or null where it is not in flight. */
+    ActiveRequest request(String id) {
+        return requests.get(id);
     }
 
-    public int out() {
-        return attempts.out();
+    /** All requests in flight but for duplicates that wait. */
+    Collection<ActiveRequest> requests() {
+        return requests.values();
     }
 
     /**
-     * A turn for each answer; while much is taken back, one for all that is read in a pass, since each turn looks at every
-     * stream that waits. (At all times it was measured, and cost 0.006 of G on a day of bad clients and spoilt answers.)
+     * Has the policy decide after an attempt has ended. During recovery there is one turn for all that is read in a
+     * pass, since each turn looks at every request that waits. (Done at all times, that cost 0.006 of G on a day of
+     * bad clients and spoilt answers.)
      */
-    void answered() {
+    void attemptEnded() {
         if (recovering) {
-            turnSoon();
+            decisions.runSoon();
         } else {
-            turn();
-        }
-    }
-
-    /** Timers that came due while another process decided did nothing. */
-    void turnAgain() {
-        tickAt = Long.MAX_VALUE;
-        turn();
-    }
-
-    private void turnSoon() {
-        if (!postponed) {
-            postponed = true;
-            loop.at(clock.now(), () -> {
-                postponed = false;
-                turn();
-            });
+            decisions.run();
         }
     }
 
-    /** What the module decides now is carried out; after a pause only once all that had arrived is read. */
-    private void turn() {
-        if (turning || handover.passedOn()) {
-            return;
-        }
-        if (loop.late()) {
-            turnSoon();
-            return;
-        }
-        turning = true;
-        do { // the next tick is known only after the picking, which may ask for one and do nothing else
-            facade.tick(clock.now());
-            for (List<PolicyDecision> all = picked(); !all.isEmpty(); all = picked()) {
-                all.forEach(this::carryOut);
-            }
-        } while (facade.next() <= clock.now());
-        turning = false;
-        long next = facade.next();
-        if (next < tickAt) {
-            long at = next;
-            tickAt = at;
-            loop.at(at, () -> {
-                if (at == tickAt) { // one that an earlier tick has replaced must not set a timer of its own
-                    tickAt = Long.MAX_VALUE;
-                    turn();
-                }
-            });
-        }
+    /** Resumes deciding after another process had decided for a while. */
+    void resume() {
+        decisions.restart();
     }
 
-    /** The next decisions, final answers first: nothing that begins is to delay what is owed. */
-    private List<PolicyDecision> picked() {
-        List<PolicyDecision> ends = new ArrayList<>(), others = new ArrayList<>();
-        for (PolicyDecision d = facade.pick(clock.now()); d != null; d = facade.pick(clock.now())) {
-            (d instanceof PolicyDecision.End ? ends : others).add(d);
-        }
-        if (!ends.isEmpty()) {
-            ends.forEach(this::carryOut);
-            fronts.values().forEach(Frontend::tell);
-        }
-        return others;
+    /** Lets the frontends send the notifications that are due. */
+    void flushNotifications() {
+        frontends.values().forEach(Frontend::flushNotifications);
     }
 
-    private void carryOut(PolicyDecision decision) {
-        if (decision instanceof PolicyDecision.Send d) {
-            ActiveRequest s = streams.get(d.id());
-            if (s != null) {
-                attempts.send(s, d.host(), d.answerBy());
-            }
-        } else if (decision instanceof PolicyDecision.Abandon d) {
-            AttemptTracker.abandon(streams.get(d.id()), d.attempt());
-        } else if (decision instanceof PolicyDecision.End d) {
-            end(streams.get(d.id()), d.answer());
-        } else if (decision instanceof PolicyDecision.CloseIdle d) {
-            attempts.closeIdle(d.host());
-        } else if (decision instanceof PolicyDecision.Watch) {
-            watch.run();
+    /** Cancels an attempt if it is the one in flight; the request may be gone. */
+    void cancelAttempt(String id, int attempt) {
+        ActiveRequest request = requests.get(id);
+        if (request != null) {
+            attempts.cancel(request, attempt);
         }
     }
 
-    void end(ActiveRequest s, FinalOutcome decided) {
-        if (s == null || s.answer != null) {
+    /** Completes a request, unless it has been completed before. */
+    void complete(ActiveRequest request, FinalOutcome decided) {
+        if (request.outcome != null) {
             return;
         }
-        // with a key, a copy may come as a class that must not run twice: what may have run is not to come again
-        boolean unsure = decided.kind() == FinalOutcome.Kind.REFUSED
-                && s.mayHaveRun
-                && !s.message.same().isEmpty();
-        FinalOutcome answer = unsure ? FinalOutcome.FAILED : decided;
-        s.answer = answer;
-        figures.ended(s.message.cls(), answer);
-        streams.remove(s.id());
-        journal.ended(s.message, answer, s.owned);
-        if (s.owned) {
-            fronts.get(s.message.front()).ended(s.message, answer);
+        ActiveRequest.Message message = request.message;
+        // with a key, a duplicate may come in a class that must not run twice: what may have run must not be submitted
+        // anew
+        boolean unsafeToRetry = decided.isRejection() && request.mayHaveRun && message.hasDeduplicationKey();
+        FinalOutcome outcome = unsafeToRetry ? FinalOutcome.FAILED : decided;
+        request.outcome = outcome;
+        metrics.requestCompleted(message.classIndex(), outcome);
+        requests.remove(request.id());
+        journal.completed(message, outcome, request.acknowledged);
+        if (request.acknowledged) {
+            frontends.get(message.frontend()).completed(message, outcome);
         }
-        if (!s.message.same().isEmpty()) {
-            copies.ended(s, answer);
+        if (message.hasDeduplicationKey()) {
+            duplicates.complete(request, outcome);
         }
     }
 }
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -8,127 +8,172 @@
 import java.util.List;
 import java.util.Map;
 
-/** The settings as both hosts are given them: a value for each path, such as {@code services.0.name}. */
+/**
+ * A deployment's settings by their paths, such as {@code services.0.name}, and the policy's settings that follow from
+ * them. Immutable.
+ *
+ * @param values the text of each setting; an absent one, an empty one and {@code -} mean the same
+ */
 public record SettingsMap(Map<String, String> values) {
+    private static final String UNSET = "-";
 
-    /** What the module is told; a value that is no number is named in the exception. */
+    /**
+     * The policy's settings.
+     *
+     * @throws IllegalArgumentException naming a setting that is not a number, or out of range
+     */
     public Sender.Settings settings() {
+        return new Sender.Settings(
+                messageClasses(),
+                endpointKinds(),
+                tenantRates(),
+                (int) getLong("extra.callSlots", 0),
+                getLimit("limits.mostHeld", Integer.MAX_VALUE),
+                getLimit("limits.maxAttempts", Integer.MAX_VALUE),
+                (int) getLong("replicasOfMe", 1),
+                (int) getLong("zone", 0),
+                getText("extra.fades", "line").equals("halves"),
+                getDouble("overShareWorth", 1),
+                getBoolean("limits.mayCancel"),
+                getBoolean("limits.secondCopies"),
+                getText("discovery", "push").equals("ask"),
+                weightPrecision(),
+                getLong("limits.maxRetryAfterNs", 0),
+                getLong("safety.drainGraceNs", 0),
+                getDouble("safety.coldShare", 1),
+                getLong("safety.coldNs", 0),
+                getDouble("safety.fallMultiple", 1),
+                getLong("safety.fallNs", 0),
+                getLong("safety.keyQuietNs", 0),
+                new Sender.Connections(
+                        getLong("limits.connIdleNs", 0),
+                        getLimit("limits.multiplex", 1),
+                        getLong("limits.connectTimeoutNs", 0)),
+                new Sender.Prices(getDouble("prices.handshake", 0), getDouble("prices.crossZone", 0), zoneFees()));
+    }
+
+    private List<MessageClass> messageClasses() {
         List<MessageClass> classes = new ArrayList<>();
-        for (int i = 0; i < (int) real("services.count", 0); i++) {
-            String p = "services." + i + ".";
-            Effect effect = switch (text(p + "effect", "")) {
-                case "repeatable" -> Effect.SAFE;
-                case "by_key" -> Effect.KEYED;
-                case "once" -> Effect.UNSAFE;
-                default -> throw new IllegalArgumentException("unknown " + p + "effect");
-            };
-            boolean zoned = !text(p + "keyScope", "all").equals("all");
+        for (int i = 0; i < count("services"); i++) {
+            String prefix = "services." + i + ".";
             classes.add(new MessageClass(
-                    effect,
-                    zoned,
-                    flag(p + "fifoByKey"),
-                    whole(p + "targetNs", 0),
-                    whole(p + "giveUpNs", 0),
-                    real(p + "points", 1),
-                    real(p + "lateWorth", 0),
-                    whole(p + "windowNs", 0)));
+                    effect(prefix + "effect"),
+                    !getText(prefix + "keyScope", "all").equals("all"),
+                    getBoolean(prefix + "fifoByKey"),
+                    getLong(prefix + "targetNs", 0),
+                    getLong(prefix + "giveUpNs", 0),
+                    getDouble(prefix + "points", 1),
+                    getDouble(prefix + "lateWorth", 0),
+                    getLong(prefix + "windowNs", 0)));
         }
-        String[] apart = text("extra.kindApart", "").split(",");
-        String[] batch = text("extra.batchByKind", "").split(",");
+        return classes;
+    }
+
+    private Effect effect(String path) {
+        return switch (getText(path, "")) {
+            case "repeatable" -> Effect.SAFE;
+            case "by_key" -> Effect.KEYED;
+            case "once" -> Effect.UNSAFE;
+            default -> throw new IllegalArgumentException("unknown " + path);
+        };
+    }
+
+    private List<Kind> endpointKinds() {
+        List<String> routesApart = list("extra.kindApart");
+        List<String> batches = list("extra.batchByKind");
+        int count = Math.max(1, list("flavors").size());
         List<Kind> kinds = new ArrayList<>();
-        int count = Math.max(1, text("flavors", "").split(",").length);
         for (int i = 0; i < count; i++) {
-            boolean routes = i < apart.length && apart[i].equals("true");
-            int most = i < batch.length && !batch[i].isEmpty() ? (int) number(batch[i], "extra.batchByKind") : 1;
-            kinds.add(new Kind(routes, most));
+            boolean apart = i < routesApart.size() && routesApart.get(i).equals("true");
+            boolean batched = i < batches.size() && !batches.get(i).isEmpty();
+            int batch = batched ? (int) parse(batches.get(i), "extra.batchByKind") : 1;
+            kinds.add(new Kind(apart, batch));
         }
-        List<Double> quotas = new ArrayList<>();
-        for (int i = 0; i < (int) real("orgs.count", 0); i++) {
-            quotas.add(real("orgs." + i + ".quotaPerS", 0));
+        return kinds;
+    }
+
+    private List<Double> tenantRates() {
+        List<Double> rates = new ArrayList<>();
+        for (int i = 0; i < count("orgs"); i++) {
+            rates.add(getDouble("orgs." + i + ".quotaPerS", 0));
         }
+        return rates;
+    }
+
+    private List<Double> zoneFees() {
         List<Double> fees = new ArrayList<>();
-        for (String fee : text("extra.zoneFee", "").split(",")) {
+        for (String fee : list("extra.zoneFee")) {
             if (!fee.isEmpty()) {
-                fees.add(number(fee, "extra.zoneFee"));
+                fees.add(parse(fee, "extra.zoneFee"));
             }
         }
-        Sender.Rates rates = switch (text("weightKind", "silent")) {
+        return fees;
+    }
+
+    private Sender.Rates weightPrecision() {
+        return switch (getText("weightKind", "silent")) {
             case "nominal" -> Sender.Rates.EXACT;
             case "rough" -> Sender.Rates.ROUGH;
             default -> Sender.Rates.UNTOLD;
         };
-        return new Sender.Settings(
-                classes,
-                kinds,
-                quotas,
-                (int) whole("extra.callSlots", 0),
-                (int) Math.min(Integer.MAX_VALUE, whole("limits.mostHeld", Integer.MAX_VALUE)),
-                (int) Math.min(Integer.MAX_VALUE, whole("limits.maxAttempts", Integer.MAX_VALUE)),
-                (int) whole("replicasOfMe", 1),
-                (int) whole("zone", 0),
-                text("extra.fades", "line").equals("halves"),
-                real("overShareWorth", 1),
-                flag("limits.mayCancel"),
-                flag("limits.secondCopies"),
-                text("discovery", "push").equals("ask"),
-                rates,
-                whole("limits.maxRetryAfterNs", 0),
-                whole("safety.drainGraceNs", 0),
-                real("safety.coldShare", 1),
-                whole("safety.coldNs", 0),
-                real("safety.fallMultiple", 1),
-                whole("safety.fallNs", 0),
-                whole("safety.keyQuietNs", 0),
-                new Sender.Connections(
-                        whole("limits.connIdleNs", 0),
-                        (int) Math.min(Integer.MAX_VALUE, whole("limits.multiplex", 1)),
-                        whole("limits.connectTimeoutNs", 0)),
-                new Sender.Prices(real("prices.handshake", 0), real("prices.crossZone", 0), fees));
+    }
+
+    private int getLimit(String path, int absent) {
+        return (int) Math.min(Integer.MAX_VALUE, getLong(path, absent));
+    }
+
+    /** How many elements a list of objects has. */
+    int count(String path) {
+        return (int) getDouble(path + ".count", 0);
     }
 
     /** The names under {@code path.N.name}, in order. */
     public List<String> names(String path) {
         List<String> names = new ArrayList<>();
-        for (int i = 0; i < (int) real(path + ".count", 0); i++) {
-            names.add(text(path + "." + i + ".name", ""));
+        for (int i = 0; i < count(path); i++) {
+            names.add(getText(path + "." + i + ".name", ""));
         }
         return names;
     }
 
-    /** The parts of a list of plain values. */
+    /** The elements of a list of scalars; one empty element for an absent list. */
     public List<String> list(String path) {
-        return List.of(text(path, "").split(","));
+        return List.of(getText(path, "").split(","));
     }
 
-    public String text(String path, String absent) {
+    /** A setting as written. */
+    public String getText(String path, String absent) {
         String value = values.get(path);
-        return value == null || value.equals("-") ? absent : value;
+        return value == null || value.equals(UNSET) ? absent : value;
     }
 
-    public double real(String path, double absent) {
-        String value = text(path, "");
-        return value.isEmpty() ? absent : number(value, path);
+    /** A number; throws {@link IllegalArgumentException} for anything else. */
+    public double getDouble(String path, double absent) {
+        String value = getText(path, "");
+        return value.isEmpty() ? absent : parse(value, path);
     }
 
-    public long whole(String path, long absent) {
-        String value = text(path, "");
+    /** A number, its fraction cut off; throws {@link IllegalArgumentException} for anything else. */
+    public long getLong(String path, long absent) {
+        String value = getText(path, "");
         try {
             return value.isEmpty() ? absent : Long.parseLong(value);
         } catch (NumberFormatException e) {
-            return (long) number(value, path);
+            return (long) parse(value, path);
         }
     }
 
-    public boolean flag(String path) {
-        String value = text(path, "false");
+    /** Whether a setting is {@code true} or {@code 1}. */
+    public boolean getBoolean(String path) {
+        String value = getText(path, "false");
         return value.equals("true") || value.equals("1");
     }
 
-    private static double number(String value, String path) {
+    private static double parse(String value, String path) {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("bad " + path + " '" + value + "'");
+            throw new IllegalArgumentException("bad " + path + " '" + value + "'", e);
         }
     }
 }
--- a/src/main/java/elderseam/core/SettingsValidator.java
+++ b/src/main/java/elderseam/core/SettingsValidator.java
@@ -6,11 +6,19 @@
 import java.util.Set;
 
 /**
- * Every fault of a deployment's settings, a line each: which setting, what is wrong with it, what is allowed. Only what no
- * deployment can mean is a fault; what is absent and has a plain meaning (no such limit, no such price) is none.
+ * Finds every fault of a deployment's settings: which setting, what is wrong with it, what is allowed. Only what no
+ * deployment can mean is a fault; an absent setting with a plain meaning (no such limit, no such price) is none. Used
+ * by one thread.
  */
 public final class SettingsValidator {
-    private static final double MOST = 9e18; // nanoseconds and counts fit a long
+    /** Nanoseconds and counts up to here fit a long. */
+    private static final double MAX_NUMBER = 9e18;
+
+    private static final String NOT_NEGATIVE = "0 or more";
+    private static final String POSITIVE = "1 or more";
+    private static final String SHARE = "0 to 1";
+    private static final String DURATION = "0 or more, in nanoseconds";
+    private static final String POSITIVE_DURATION = "1 or more, in nanoseconds";
 
     private final SettingsMap settings;
     private final List<String> faults = new ArrayList<>();
@@ -19,68 +27,72 @@
         this.settings = settings;
     }
 
-    /** The faults, none where the settings can be used. */
+    /** The faults, a line each; none where the settings can be used. */
     public static List<String> faults(SettingsMap settings) {
-        SettingsValidator check = new SettingsValidator(settings);
-        check.classes();
-        check.names("orgs");
-        for (int i = 0; i < check.count("orgs"); i++) {
-            check.within("orgs." + i + ".quotaPerS", false, 0, MOST, "0 or more, in requests a second");
-        }
-        check.within("extra.callSlots", true, 1, Integer.MAX_VALUE, "1 or more");
-        check.within("limits.mostHeld", false, 1, MOST, "1 or more");
-        check.within("limits.maxAttempts", false, 1, MOST, "1 or more");
-        check.within("replicasOfMe", false, 1, Integer.MAX_VALUE, "1 or more");
-        check.within("limits.connIdleNs", false, 0, MOST, "0 or more, in nanoseconds"); // none: no connection is kept
-        check.within("limits.connectTimeoutNs", true, 1, MOST, "1 or more, in nanoseconds");
-        for (String time : List.of(
-                "limits.maxRetryAfterNs",
-                "safety.drainGraceNs",
-                "safety.coldNs",
-                "safety.fallNs",
-                "safety.keyQuietNs")) {
-            check.within(time, false, 0, MOST, "0 or more, in nanoseconds");
-        }
-        check.within("safety.coldShare", false, 0, 1, "0 to 1");
-        check.within("safety.fallMultiple", false, 0, MOST, "0 or more");
-        check.within("overShareWorth", false, 0, MOST, "0 or more");
-        for (String price : List.of("prices.handshake", "prices.crossZone")) {
-            check.within(price, false, 0, MOST, "0 or more");
-        }
-        check.oneOf("discovery", "ask", "push");
-        return check.faults;
+        SettingsValidator validator = new SettingsValidator(settings);
+        validator.checkClasses();
+        validator.checkTenants();
+        validator.checkLimits();
+        validator.checkPolicyParameters();
+        return validator.faults;
     }
 
-    private void classes() {
-        if (count("services") == 0) {
+    private void checkClasses() {
+        int count = settings.count("services");
+        if (count == 0) {
             faults.add("services: missing, allowed: a list of one class or more");
         }
-        names("services");
-        for (int i = 0; i < count("services"); i++) {
-            String p = "services." + i + ".";
-            if (settings.text(p + "effect", "").isEmpty()) {
-                faults.add(p + "effect: missing, allowed: repeatable, by_key or once");
+        checkNames("services");
+        for (int i = 0; i < count; i++) {
+            String prefix = "services." + i + ".";
+            String effect = settings.getText(prefix + "effect", "");
+            if (effect.isEmpty()) {
+                faults.add(prefix + "effect: missing, allowed: repeatable, by_key or once");
+            }
+            checkOneOf(prefix + "effect", "repeatable", "by_key", "once");
+            checkRequired(prefix + "giveUpNs", 1, MAX_NUMBER, POSITIVE_DURATION);
+            checkRequired(prefix + "targetNs", 0, MAX_NUMBER, DURATION);
+            checkOptional(prefix + "points", 0, MAX_NUMBER, NOT_NEGATIVE);
+            checkOptional(prefix + "lateWorth", 0, 1, SHARE);
+            if (effect.equals("by_key")) {
+                checkRequired(prefix + "windowNs", 0, MAX_NUMBER, DURATION);
+            } else {
+                checkOptional(prefix + "windowNs", 0, MAX_NUMBER, DURATION);
             }
-            oneOf(p + "effect", "repeatable", "by_key", "once");
-            within(p + "giveUpNs", true, 1, MOST, "1 or more, in nanoseconds");
-            within(p + "targetNs", true, 0, MOST, "0 or more, in nanoseconds");
-            within(p + "points", false, 0, MOST, "0 or more");
-            within(p + "lateWorth", false, 0, 1, "0 to 1");
-            within(
-                    p + "windowNs",
-                    settings.text(p + "effect", "").equals("by_key"),
-                    0,
-                    MOST,
-                    "0 or more, in nanoseconds");
         }
     }
 
-    private int count(String list) {
-        return (int) settings.real(list + ".count", 0);
+    private void checkTenants() {
+        checkNames("orgs");
+        for (int i = 0; i < settings.count("orgs"); i++) {
+            checkOptional("orgs." + i + ".quotaPerS", 0, MAX_NUMBER, "0 or more, in requests a second");
+        }
+    }
+
+    private void checkLimits() {
+        checkRequired("extra.callSlots", 1, Integer.MAX_VALUE, POSITIVE);
+        checkOptional("limits.mostHeld", 1, MAX_NUMBER, POSITIVE);
+        checkOptional("limits.maxAttempts", 1, MAX_NUMBER, POSITIVE);
+        checkOptional("replicasOfMe", 1, Integer.MAX_VALUE, POSITIVE);
+        checkOptional("limits.connIdleNs", 0, MAX_NUMBER, DURATION); // absent: no connection is kept
+        checkRequired("limits.connectTimeoutNs", 1, MAX_NUMBER, POSITIVE_DURATION);
+        checkOptional("limits.maxRetryAfterNs", 0, MAX_NUMBER, DURATION);
+    }
+
+    private void checkPolicyParameters() {
+        for (String duration : List.of("drainGraceNs", "coldNs", "fallNs", "keyQuietNs")) {
+            checkOptional("safety." + duration, 0, MAX_NUMBER, DURATION);
+        }
+        checkOptional("safety.coldShare", 0, 1, SHARE);
+        checkOptional("safety.fallMultiple", 0, MAX_NUMBER, NOT_NEGATIVE);
+        checkOptional("overShareWorth", 0, MAX_NUMBER, NOT_NEGATIVE);
+        checkOptional("prices.handshake", 0, MAX_NUMBER, NOT_NEGATIVE);
+        checkOptional("prices.crossZone", 0, MAX_NUMBER, NOT_NEGATIVE);
+        checkOneOf("discovery", "ask", "push");
     }
 
     /** Messages name their class and tenant: a name stands for one. */
-    private void names(String list) {
+    private void checkNames(String list) {
         Set<String> seen = new HashSet<>();
         List<String> names = settings.names(list);
         for (int i = 0; i < names.size(); i++) {
@@ -93,29 +105,42 @@
         }
     }
 
-    private void oneOf(String path, String... allowed) {
-        String value = settings.text(path, "");
+    private void checkOneOf(String path, String... allowed) {
+        String value = settings.getText(path, "");
         if (!value.isEmpty() && !List.of(allowed).contains(value)) {
-            faults.add(path + ": '" + value + "' can't be used, allowed: " + String.join(", ", allowed));
+            addUnusable(path, value, String.join(", ", allowed));
         }
     }
 
-    private void within(String path, boolean needed, double least, double most, String allowed) {
-        String value = settings.text(path, "");
+    private void checkRequired(String path, double min, double max, String allowed) {
+        if (settings.getText(path, "").isEmpty()) {
+            faults.add(path + ": missing, allowed: " + allowed);
+        }
+        checkOptional(path, min, max, allowed);
+    }
+
+    private void checkOptional(String path, double min, double max, String allowed) {
+        String value = settings.getText(path, "");
         if (value.isEmpty()) {
-            if (needed) {
-                faults.add(path + ": missing, allowed: " + allowed);
-            }
             return;
         }
-        double number;
+        double number = parseOrNaN(value);
+        boolean inRange = number >= min && number <= max;
+        if (!inRange) {
+            addUnusable(path, value, allowed);
+        }
+    }
+
+    private void addUnusable(String path, String value, String allowed) {
+        faults.add(path + ": '" + value + "' can't be used, allowed: " + allowed);
+    }
+
+    /** NaN is in no range. */
+    private static double parseOrNaN(String value) {
         try {
-            number = Double.parseDouble(value);
+            return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            number = Double.NaN;
-        }
-        if (!(number >= least && number <= most)) {
-            faults.add(path + ": '" + value + "' can't be used, allowed: " + allowed);
+            return Double.NaN;
         }
     }
 }
--- a/src/main/java/elderseam/core/SkewedClock.java
+++ b/src/main/java/elderseam/core/SkewedClock.java
@@ -1,30 +1,32 @@
 package elderseam.core;
 
-/** A clock that runs fast or slow, for rehearsals of a fleet: its rate times true time since the process began, and an offset. */
+/** A clock with a wrong rate and offset, for fault tests of a fleet of processes. Thread-safe. */
 public final class SkewedClock extends Clock {
     private final double rate;
-    private final long offsetMs, fromNs = System.nanoTime(), fromMs = System.currentTimeMillis();
-
-    /**
-     * {@code rate}: seconds shown for each that passes; {@code offsetMs}: how far the wall clock stands ahead. Given as a
-     * Clock, so that whoever may never ask for one need not load this class: on the platform {@link Clock} has no other kind.
-     */
-    public static Clock bent(double rate, long offsetMs) {
-        return new SkewedClock(rate, offsetMs);
-    }
+    private final long offsetMs;
+    private final long startNs = System.nanoTime();
+    private final long startWallMs = System.currentTimeMillis();
 
     private SkewedClock(double rate, long offsetMs) {
         this.rate = rate;
         this.offsetMs = offsetMs;
     }
 
+    /**
+     * A clock that runs at {@code rate} times the true rate, and whose wall clock is {@code offsetMs} milliseconds
+     * ahead. The return type is {@link Clock} so that a caller which never asks for one does not load this class.
+     */
+    public static Clock of(double rate, long offsetMs) {
+        return new SkewedClock(rate, offsetMs);
+    }
+
     @Override
     public long now() {
-        return fromNs + (long) ((System.nanoTime() - fromNs) * rate);
+        return startNs + (long) ((System.nanoTime() - startNs) * rate);
     }
 
     @Override
     public long wallMs() {
-        return fromMs + offsetMs + (long) ((System.currentTimeMillis() - fromMs) * rate);
+        return startWallMs + offsetMs + (long) ((System.currentTimeMillis() - startWallMs) * rate);
     }
 }
--- a/src/main/java/elderseam/core/StallDetector.java
+++ b/src/main/java/elderseam/core/StallDetector.java
@@ -1,54 +1,58 @@
 package elderseam.core;
 
 /**
- * The governor of late turns, without I/O: from a beat that is due at known times it tells whether its thread was away
- * (suspended, starved of its core, or busy with one thing), and until when nothing may be decided. While late, what has
- * arrived is read first: an answer that waits in its socket must count before a timer that says there is none. The time
- * away is handed out once, so that calls are not called hung for time in which nobody looked. One thread owns it.
+ * Detects stalls of the event-loop thread (suspended, starved of its core, or busy with one task) from a heartbeat
+ * that is due at known times; does no I/O. While stalled, nothing may be decided: what has arrived is read first,
+ * since a response that waits in its socket must count before a timeout that says there is none. The stall time is
+ * handed out once, so that no attempt counts as hung for time in which nobody looked. Confined to the event-loop
+ * thread.
  */
 public final class StallDetector {
-    /** How often the beat is due. */
-    public static final long BEAT_NS = 25 * Clock.MS;
-    /** Lateness of a beat below this is nothing: timers are in whole milliseconds and one turn may take some. */
-    public static final long BOUND_NS = 50 * Clock.MS;
+    /** How often the heartbeat is due. */
+    public static final long HEARTBEAT_INTERVAL_NS = 25 * Clock.MS;
+
+    /** A heartbeat that is late by less is no stall: timers are in whole milliseconds, and one task may take some. */
+    public static final long STALL_THRESHOLD_NS = 50 * Clock.MS;
 
     private long due;
-    private boolean late;
-    private long away, longest;
+    private boolean stalled;
+    private long unreportedNs;
+    private long longestNs;
 
+    /** {@code now}: of {@link Clock#now}, as in every method. */
     public StallDetector(long now) {
-        due = now + BEAT_NS;
+        due = now + HEARTBEAT_INTERVAL_NS;
     }
 
-    /** Something happens. True while what has arrived is to be read before anything is decided. */
-    public boolean late(long now) {
-        long by = now - due;
-        if (by > BOUND_NS) {
-            late = true;
-            away += by;
-            longest = Math.max(longest, by);
-            due = now + BEAT_NS; // counted; the beat itself will still come, and is early then
+    /** Called on any event. True while what has arrived is to be read before anything is decided. */
+    public boolean isStalled(long now) {
+        long lateness = now - due;
+        if (lateness > STALL_THRESHOLD_NS) {
+            stalled = true;
+            unreportedNs += lateness;
+            longestNs = Math.max(longestNs, lateness);
+            due = now + HEARTBEAT_INTERVAL_NS; // counted; the heartbeat itself will still come, and is early then
         }
-        return late;
+        return stalled;
     }
 
-    /** The beat has come; when the next is due. */
-    public long beat(long now) {
-        late(now);
-        due = now + BEAT_NS;
+    /** The heartbeat has come; when the next is due. */
+    public long heartbeat(long now) {
+        isStalled(now);
+        due = now + HEARTBEAT_INTERVAL_NS;
         return due;
     }
 
-    /** All that had arrived has been read. The nanoseconds away since the last time this was told. */
-    public long caughtUp() {
-        long was = away;
-        late = false;
-        away = 0;
-        return was;
+    /** All that had arrived has been read: ends the stall. The stall time in nanoseconds since the last call. */
+    public long endStall() {
+        long stallNs = unreportedNs;
+        stalled = false;
+        unreportedNs = 0;
+        return stallNs;
     }
 
-    /** The longest silence so far, in nanoseconds. */
-    public long longest() {
-        return longest;
+    /** The longest stall so far, in nanoseconds. */
+    public long longestNs() {
+        return longestNs;
     }
 }
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -2,12 +2,12 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
@@ -34,7 +34,7 @@
                 new HttpRequest("POST", "/events", o.headers(), o.payload()),
                 connectBy,
                 answerBy,
-                attempt::mayLeave,
+                attempt::maySend,
                 attempt::written,
                 r -> attempt.answeredLate(meaning(r)),
                 r -> attempt.ended(meaning(r)))::abandon;
@@ -47,16 +47,17 @@
 
     /** 2xx, be it the first line of a spoilt answer: taken. 429 and 503: turned away unseen, perhaps with a wait. All
      *  else may have taken effect. */
-    static End meaning(HttpResult r) {
+    static AttemptOutcome meaning(HttpResult r) {
         if (r.code() / 100 == 2) {
-            return new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
+            return new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
         }
         if (!r.answered()) {
-            return End.unanswered(r.progress(), r.failure());
+            return AttemptOutcome.unanswered(r.progress(), r.failure());
         }
         boolean full = r.code() == 429 || r.code() == 503;
         String wait = r.header("Retry-After");
         double seconds = full && wait.matches("\\d{1,6}(\\.\\d{1,9})?") ? Double.parseDouble(wait) : 0;
-        return new End(r.progress(), full ? Status.FULL : Status.ERROR, (long) (seconds * 1_000 * Clock.MS), 0, 0);
+        return new AttemptOutcome(
+                r.progress(), full ? Status.FULL : Status.ERROR, (long) (seconds * 1_000 * Clock.MS), 0, 0);
     }
 }
--- a/src/main/java/elderseam/frontend/cloudevents/EventFrontend.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventFrontend.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** CloudEvents over HTTP: the answer to a request is the final answer of its event, or of each event of its batch. */
@@ -31,9 +32,10 @@
         static Verdict of(FinalOutcome answer) {
             return switch (answer.kind()) {
                 case DELIVERED -> new Verdict(200, "delivered", 0, "");
-                case REFUSED ->
-                    new Verdict(503, "refused", Math.max(1, (answer.againNs() + 999_999_999L) / 1_000_000_000L), "");
-                case FAILED, OVER -> new Verdict(502, "failed", 0, "");
+                case REJECTED ->
+                    new Verdict(
+                            503, "refused", Math.max(1, (answer.retryAfterNs() + 999_999_999L) / 1_000_000_000L), "");
+                case FAILED, WITHDRAWN -> new Verdict(502, "failed", 0, "");
             };
         }
     }
@@ -105,16 +107,16 @@
             then.accept(new Verdict(503, "refused", 1, "too many requests wait for their answers"));
             return;
         }
-        AdmissionRules.Ruled ruled = rulings == null
+        AdmissionRules.Ruling ruling = rulings == null
                 ? null
                 : rulings.rule(item.message(), new HttpRequestAttributes("events", r, item.attributes(), item.data()));
-        if (ruled != null && !ruled.fault().isEmpty()) {
-            then.accept(new Verdict(400, "invalid", 0, ruled.fault()));
+        if (ruling instanceof AdmissionRules.Invalid invalid) {
+            then.accept(new Verdict(400, "invalid", 0, invalid.reason()));
             return;
         }
-        FinalOutcome answer = ruled == null ? relay.take(item.message()) : ruled.take(relay);
-        if (answer != null) {
-            then.accept(Verdict.of(answer));
+        Optional<FinalOutcome> answer = ruling == null ? relay.submit(item.message()) : ruling.submitTo(relay);
+        if (answer.isPresent()) {
+            then.accept(Verdict.of(answer.get()));
             return;
         }
         waiters++;
@@ -122,8 +124,8 @@
     }
 
     @Override
-    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
-        relay.told(message.id());
+    public void completed(ActiveRequest.Message message, FinalOutcome answer) {
+        relay.markNotified(message.id());
         List<Consumer<Verdict>> told = waiting.remove(message.id());
         if (told != null) {
             waiters -= told.size();
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -1,8 +1,8 @@
 package elderseam.frontend.platform;
 
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.core.JsonValue;
 import elderseam.core.RequestDispatcher;
 import elderseam.http.EndpointAddress;
@@ -50,8 +50,8 @@
 
     /** The list as this dispatcher had it last; it may be old. */
     public void known(JsonValue list) {
-        version = list.at("version").whole(0);
-        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.at("servers"), true));
+        version = list.get("version").asLong(0);
+        relay.updateEndpoints(Sender.ListKind.CACHED, hosts.decode(list.get("servers"), true));
     }
 
     /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
@@ -92,9 +92,9 @@
 
     /** The list as another dispatcher has it from the same discovery; it counts only while this one does not watch. */
     public void heard(JsonValue list) {
-        if (stopped && list.at("version").whole(0) != version) {
-            version = list.at("version").whole(0);
-            relay.hosts(Sender.ListKind.WHOLE, hosts.decode(list.at("servers"), true));
+        if (stopped && list.get("version").asLong(0) != version) {
+            version = list.get("version").asLong(0);
+            relay.updateEndpoints(Sender.ListKind.WHOLE, hosts.decode(list.get("servers"), true));
         }
     }
 
@@ -142,13 +142,13 @@
         if (reply.answered() && reply.failure() == null && reply.code() == 200) {
             try {
                 JsonValue list = JsonValue.read(reply.body());
-                version = list.at("version").whole(version);
+                version = list.get("version").asLong(version);
                 anew = false;
                 watch();
-                boolean whole = list.at("full").flag();
-                relay.hosts(
+                boolean whole = list.get("full").asBoolean();
+                relay.updateEndpoints(
                         whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
-                        hosts.decode(list.at("servers"), whole));
+                        hosts.decode(list.get("servers"), whole));
                 answered.run();
                 return;
             } catch (IOException e) {
@@ -160,6 +160,6 @@
             watch();
             return;
         }
-        relay.hosts(Sender.ListKind.FAILED, List.of());
+        relay.updateEndpoints(Sender.ListKind.FAILED, List.of());
     }
 }
--- a/src/main/java/elderseam/frontend/platform/EndpointList.java
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -52,19 +52,19 @@
         }
         List<Sender.Endpoint> entries = new ArrayList<>();
         for (JsonValue s : servers.items()) {
-            String id = s.at("id").text("");
-            Sender.Listing listing = switch (s.at("state").text("")) {
+            String id = s.get("id").asText("");
+            Sender.Listing listing = switch (s.get("state").asText("")) {
                 case "SERVING" -> Sender.Listing.READY;
                 case "DELETED" -> Sender.Listing.GONE;
                 default -> Sender.Listing.DRAINING;
             };
             Sender.Endpoint e = new Sender.Endpoint(
                     id,
-                    s.at("cell").whole(0),
-                    Math.max(0, kinds.indexOf(s.at("kind").text(""))),
-                    Math.max(0, zones.indexOf(s.at("zone").text(""))),
+                    s.get("cell").asLong(0),
+                    Math.max(0, kinds.indexOf(s.get("kind").asText(""))),
+                    Math.max(0, zones.indexOf(s.get("zone").asText(""))),
                     listing,
-                    s.at("weight").real(1));
+                    s.get("weight").asDouble(1));
             entries.add(e);
             if (listing == Sender.Listing.GONE) {
                 listed.remove(id);
@@ -72,8 +72,8 @@
                 listed.put(
                         id,
                         new Listed(
-                                s.at("addr").told()
-                                        ? new EndpointAddress(id, s.at("addr").text(""))
+                                s.get("addr").isPresent()
+                                        ? new EndpointAddress(id, s.get("addr").asText(""))
                                         : host(id),
                                 e));
             }
@@ -89,13 +89,13 @@
             Sender.Endpoint e = l.entry;
             text.append(between)
                     .append("{\"id\":")
-                    .append(JsonValue.quoted(e.address()))
+                    .append(JsonValue.quote(e.address()))
                     .append(",\"addr\":")
-                    .append(JsonValue.quoted(l.host.address()))
+                    .append(JsonValue.quote(l.host.address()))
                     .append(",\"zone\":")
-                    .append(JsonValue.quoted(zones.get(e.zone())))
+                    .append(JsonValue.quote(zones.get(e.zone())))
                     .append(",\"kind\":")
-                    .append(JsonValue.quoted(kinds.get(e.kind())))
+                    .append(JsonValue.quote(kinds.get(e.kind())))
                     .append(",\"cell\":")
                     .append(e.destination())
                     .append(",\"state\":\"")
--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -85,8 +85,9 @@
     }
 
     private static String line(String id, FinalOutcome answer) {
-        return answer.kind() == FinalOutcome.Kind.REFUSED
-                ? "{\"id\":\"" + id + "\",\"status\":\"deferred\",\"again_ms\":" + answer.againNs() / Clock.MS + "}\n"
+        return answer.kind() == FinalOutcome.Kind.REJECTED
+                ? "{\"id\":\"" + id + "\",\"status\":\"deferred\",\"again_ms\":" + answer.retryAfterNs() / Clock.MS
+                        + "}\n"
                 : "{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n";
     }
 
@@ -129,7 +130,7 @@
         if (heard) {
             ids.forEach(id -> {
                 byDue.remove(owed.remove(id));
-                relay.told(id);
+                relay.markNotified(id);
             });
         }
         out = !owed.isEmpty();
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -2,12 +2,12 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.core.SettingsMap;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
@@ -39,8 +39,8 @@
             ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Txn", m.id());
-        if (!m.key().isEmpty()) {
-            headers.put("Idempotency-Key", m.key());
+        if (!m.idempotencyKey().isEmpty()) {
+            headers.put("Idempotency-Key", m.idempotencyKey());
         }
         headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
         return connections.send(
@@ -48,7 +48,7 @@
                 new HttpRequest("POST", "/receive", headers, m.body()),
                 connectBy,
                 answerBy,
-                attempt::mayLeave,
+                attempt::maySend,
                 attempt::written,
                 r -> attempt.answeredLate(meaning(r, fields)),
                 r -> attempt.ended(meaning(r, fields)))::abandon;
@@ -60,11 +60,11 @@
     }
 
     /** The meaning of an answer. Where it is spoilt, only a first line with 200 counts: it was delivered. */
-    static End meaning(HttpResult r, List<String> fields) {
+    static AttemptOutcome meaning(HttpResult r, List<String> fields) {
         if (!r.answered()) {
             return r.code() == 200
-                    ? new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
-                    : End.unanswered(r.progress(), r.failure());
+                    ? new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
+                    : AttemptOutcome.unanswered(r.progress(), r.failure());
         }
         Status status = switch (r.code()) {
             case 200 -> Status.DELIVERED;
@@ -77,7 +77,7 @@
         double wait = status == Status.FULL ? Math.min(MOST_WAIT_MS, number(r.header("X-RateLimit-Wait-Ms"))) : 0;
         double left = value(r.header("X-Pressure"), fields, 0), limit = value(r.header("X-Pressure"), fields, 1);
         boolean sense = left <= 1 && limit <= MOST_LIMIT;
-        return new End(r.progress(), status, (long) (wait * Clock.MS), sense ? left : 0, sense ? limit : 0);
+        return new AttemptOutcome(r.progress(), status, (long) (wait * Clock.MS), sense ? left : 0, sense ? limit : 0);
     }
 
     /** A field of a report such as {@code TEXT x0=0.4, x1=25}; 0 where it is not told. */
--- a/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
@@ -29,11 +29,12 @@
         if (!json.isObject()) {
             throw new IOException("the configuration is no JSON object");
         }
-        String discovery =
-                json.at("discovery").told() ? json.at("discovery").text("") : told(variables, "RELAY_DISCOVERY");
+        String discovery = json.get("discovery").isPresent()
+                ? json.get("discovery").asText("")
+                : told(variables, "RELAY_DISCOVERY");
         address(discovery); // an unusable one is named now
         Map<String, String> paths = new HashMap<>();
-        flatten("", json.at("settings"), paths);
+        flatten("", json.get("settings"), paths);
         List<String> faults = SettingsValidator.faults(new SettingsMap(paths));
         if (!faults.isEmpty()) {
             throw new IOException(faults.stream()
@@ -43,15 +44,15 @@
         paths.put(
                 "discovery",
                 "ask"); // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
-        long seed = Long.parseUnsignedLong(json.at("seed").text("1"), 16);
-        JsonValue told = json.at("limits");
+        long seed = Long.parseUnsignedLong(json.get("seed").asText("1"), 16);
+        JsonValue told = json.get("limits");
         ResourceLimits limits = new ResourceLimits(
-                (long) (told.at("disk_mb").real(3) * 1_000_000),
-                (int) told.at("sockets").whole(1_024),
-                (int) told.at("memory_mb").whole(192));
+                (long) (told.get("disk_mb").asDouble(3) * 1_000_000),
+                (int) told.get("sockets").asLong(1_024),
+                (int) told.get("memory_mb").asLong(192));
         String control = variables.getOrDefault(
                 "RELAY_CONTROL", ""); // a second process has its own, and may find the first one's file
-        control = control.isEmpty() ? json.at("control").text("") : control;
+        control = control.isEmpty() ? json.get("control").asText("") : control;
         return new PlatformConfiguration(
                 address(told(variables, "RELAY_LISTEN")),
                 control.isEmpty() ? null : address(control),
@@ -60,7 +61,7 @@
                 seed,
                 limits,
                 new SettingsMap(paths),
-                json.at("known"));
+                json.get("known"));
     }
 
     private static String told(Map<String, String> variables, String name) {
@@ -85,7 +86,7 @@
         } else if (node.isList()
                 && (node.items().isEmpty() || !node.items().get(0).isObject())) {
             StringBuilder list = new StringBuilder();
-            node.items().forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.text("")));
+            node.items().forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.asText("")));
             into.put(path, list.toString());
         } else if (node.isList()) {
             into.put(path + ".count", Integer.toString(node.items().size()));
@@ -93,7 +94,7 @@
                 flatten(path + "." + i, node.items().get(i), into);
             }
         } else {
-            into.put(path, node.text("null"));
+            into.put(path, node.asText("null"));
         }
     }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /** PROTOCOL's front: a message is answered at once, its end follows as a notice. */
@@ -62,7 +63,7 @@
 
     public void handle(Request r, Answerer to) {
         if (r.path().equals("/health/ready")) {
-            to.answer(life.ready() ? 200 : 503, Map.of(), "");
+            to.answer(life.isReady() ? 200 : 503, Map.of(), "");
             return;
         }
         Object read = decode(r);
@@ -71,18 +72,22 @@
             return;
         }
         ActiveRequest.Message message = (ActiveRequest.Message) read;
-        FinalOutcome answer = rulings == null
-                ? relay.take(message)
+        Optional<FinalOutcome> answer = rulings == null
+                ? relay.submit(message)
                 : rulings.rule(message, new HttpRequestAttributes("platform", r, Map.of(), r.body()))
-                        .take(relay);
-        if (answer == null) {
+                        .submitTo(relay);
+        if (answer.isEmpty()) {
             to.answer(202, Map.of(), "");
             return;
         }
-        switch (answer.kind()) {
-            case DELIVERED, OVER -> to.answer(200, Map.of(), "");
-            case REFUSED ->
-                to.answer(503, Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", answer.againNs() / 1e9)), "");
+        FinalOutcome outcome = answer.get();
+        switch (outcome.kind()) {
+            case DELIVERED, WITHDRAWN -> to.answer(200, Map.of(), "");
+            case REJECTED ->
+                to.answer(
+                        503,
+                        Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", outcome.retryAfterNs() / 1e9)),
+                        "");
             case FAILED -> to.answer(500, Map.of(), "");
         }
     }
@@ -141,14 +146,14 @@
     }
 
     @Override
-    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
-        if (answer.kind() == FinalOutcome.Kind.REFUSED || answer.kind() == FinalOutcome.Kind.FAILED) {
+    public void completed(ActiveRequest.Message message, FinalOutcome answer) {
+        if (answer.kind() == FinalOutcome.Kind.REJECTED || answer.kind() == FinalOutcome.Kind.FAILED) {
             notices.add(message, answer);
         }
     }
 
     @Override
-    public void tell() {
+    public void flushNotifications() {
         notices.tell();
     }
 
--- a/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -1,7 +1,7 @@
 package elderseam.frontend.platform;
 
+import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.Progress;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
--- a/src/main/java/elderseam/handover/HandoverFrame.java
+++ b/src/main/java/elderseam/handover/HandoverFrame.java
@@ -1,8 +1,8 @@
 package elderseam.handover;
 
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Handover;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -22,7 +22,7 @@
 
     /** All that the older process passes on: the list of hosts in discovery's form, what its module has learned, whether a drain by
      *  hand lasts, the calls that are out. The journal has the rest. */
-    record Give(String list, Handover.Estate estate, boolean drains) implements HandoverFrame {}
+    record Give(String list, Handover.State estate, boolean drains) implements HandoverFrame {}
 
     /** The newer process owns the folder. */
     record Owned() implements HandoverFrame {}
@@ -31,7 +31,7 @@
     record Abandon(String id, int attempt) implements HandoverFrame {}
 
     /** A call has ended; {@code late}: its answer came after it had been given up. */
-    record Ended(Handover.Passed passed) implements HandoverFrame {}
+    record Ended(Handover.ForwardedOutcome passed) implements HandoverFrame {}
 
     default void to(DataOutputStream out) throws IOException {
         out.writeByte(VERSION);
@@ -42,15 +42,15 @@
             byte[] list = g.list.getBytes(java.nio.charset.StandardCharsets.UTF_8);
             out.writeInt(list.length);
             out.write(list);
-            out.writeInt(g.estate.learned().length);
-            out.write(g.estate.learned());
+            out.writeInt(g.estate.policySnapshot().length);
+            out.write(g.estate.policySnapshot());
             out.writeBoolean(g.drains);
-            out.writeInt(g.estate.out().size());
-            for (Handover.Out o : g.estate.out()) {
-                out.writeUTF(o.id());
+            out.writeInt(g.estate.inFlight().size());
+            for (Handover.InFlightAttempt o : g.estate.inFlight()) {
+                out.writeUTF(o.requestId());
                 out.writeInt(o.attempt());
-                out.writeUTF(o.host());
-                out.writeLong(o.agoNs());
+                out.writeUTF(o.endpoint());
+                out.writeLong(o.ageNs());
             }
         } else if (this instanceof Owned) {
             out.writeByte(3);
@@ -60,16 +60,16 @@
             out.writeInt(a.attempt);
         } else if (this instanceof Ended e) {
             out.writeByte(5);
-            Handover.Passed p = e.passed;
-            out.writeUTF(p.id());
+            Handover.ForwardedOutcome p = e.passed;
+            out.writeUTF(p.requestId());
             out.writeInt(p.attempt());
-            out.writeUTF(p.host());
+            out.writeUTF(p.endpoint());
             out.writeBoolean(p.late());
-            out.writeByte(p.end().progress().ordinal());
-            out.writeByte(p.end().status().ordinal());
-            out.writeLong(p.end().waitNs());
-            out.writeDouble(p.end().shareLeft());
-            out.writeDouble(p.end().limitPerS());
+            out.writeByte(p.outcome().progress().ordinal());
+            out.writeByte(p.outcome().status().ordinal());
+            out.writeLong(p.outcome().waitNs());
+            out.writeDouble(p.outcome().shareLeft());
+            out.writeDouble(p.outcome().limitPerS());
         }
     }
 
@@ -85,24 +85,24 @@
                 byte[] list = in.readNBytes(in.readInt());
                 byte[] learned = in.readNBytes(in.readInt());
                 boolean drains = in.readBoolean();
-                List<Handover.Out> out = new ArrayList<>();
+                List<Handover.InFlightAttempt> out = new ArrayList<>();
                 for (int n = in.readInt(); n > 0; n--) {
-                    out.add(new Handover.Out(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
+                    out.add(new Handover.InFlightAttempt(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
                 }
                 yield new Give(
                         new String(list, java.nio.charset.StandardCharsets.UTF_8),
-                        new Handover.Estate(learned, out),
+                        new Handover.State(learned, out),
                         drains);
             }
             case 3 -> new Owned();
             case 4 -> new Abandon(in.readUTF(), in.readInt());
             case 5 ->
-                new Ended(new Handover.Passed(
+                new Ended(new Handover.ForwardedOutcome(
                         in.readUTF(),
                         in.readInt(),
                         in.readUTF(),
                         in.readBoolean(),
-                        new End(
+                        new AttemptOutcome(
                                 Progress.values()[in.readByte()],
                                 Status.values()[in.readByte()],
                                 in.readLong(),
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -1,8 +1,8 @@
 package elderseam.http;
 
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -135,7 +135,7 @@
         return send(host, call, connectBy, answerBy, () -> true, () -> {}, null, done);
     }
 
-    /** The same; {@code mayLeave} is asked before bytes leave, {@code written} is run once the last one has, and {@code late},
+    /** The same; {@code maySend} is asked before bytes leave, {@code written} is run once the last one has, and {@code late},
      *  where there is one, is told of an answer that came after the request was given up: for a second more its connection is
      *  listened to. */
     public Request send(
@@ -143,11 +143,11 @@
             HttpRequest call,
             long connectBy,
             long answerBy,
-            BooleanSupplier mayLeave,
+            BooleanSupplier maySend,
             Runnable written,
             Consumer<HttpResult> late,
             Consumer<HttpResult> done) {
-        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, mayLeave, written, late, done);
+        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, maySend, written, late, done);
         r.start();
         return r;
     }
@@ -226,7 +226,7 @@
         private final EndpointAddress host;
         private final ByteBuffer bytes;
         private final long connectBy, answerBy;
-        private final BooleanSupplier mayLeave;
+        private final BooleanSupplier maySend;
         private final Runnable written;
         private final Consumer<HttpResult> late, done;
         private final HttpResponseReader answer = new HttpResponseReader(mostBody);
@@ -242,7 +242,7 @@
                 ByteBuffer bytes,
                 long connectBy,
                 long answerBy,
-                BooleanSupplier mayLeave,
+                BooleanSupplier maySend,
                 Runnable written,
                 Consumer<HttpResult> late,
                 Consumer<HttpResult> done) {
@@ -250,7 +250,7 @@
             this.bytes = bytes;
             this.connectBy = connectBy;
             this.answerBy = answerBy;
-            this.mayLeave = mayLeave;
+            this.maySend = maySend;
             this.written = written;
             this.late = late;
             this.done = done;
@@ -314,7 +314,7 @@
             if (over || link == null || progress != Progress.NOT_CONNECTED) {
                 return;
             }
-            if (!mayLeave.getAsBoolean()) {
+            if (!maySend.getAsBoolean()) {
                 finish(Status.HELD);
                 return;
             }
@@ -327,7 +327,7 @@
         private void write(ConduitStreamSinkChannel to) {
             try {
                 while (!over && bytes.hasRemaining()) {
-                    if (!mayLeave.getAsBoolean()) { // cut off, it never runs
+                    if (!maySend.getAsBoolean()) { // cut off, it never runs
                         finish(Status.HELD);
                     } else if (to.write(bytes) == 0) {
                         to.setWriteListener(this::write);
--- a/src/main/java/elderseam/http/HttpResult.java
+++ b/src/main/java/elderseam/http/HttpResult.java
@@ -1,7 +1,7 @@
 package elderseam.http;
 
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import java.util.Map;
 
 /**
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -33,7 +33,7 @@
     final XnioIoThread thread;
     final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, CACHED);
     public final Clock clock;
-    private final StallDetector lateness;
+    private final StallDetector stallDetector;
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>(); // bounded as the timers are: each is in here once
     private final ArrayDeque<Runnable> reading = new ArrayDeque<>(); // waits for a pass over the sockets
     private final ByteBuffer one = ByteBuffer.allocateDirect(16);
@@ -51,12 +51,12 @@
                         .set(Options.WORKER_NAME, "elderseam")
                         .getMap());
         this.thread = worker.getIoThread();
-        this.lateness = new StallDetector(clock.now());
+        this.stallDetector = new StallDetector(clock.now());
         ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
         marker = pipe.getRightSide();
         pipe.getLeftSide().getReadSetter().set(this::passed);
         pipe.getLeftSide().resumeReads();
-        thread.execute(() -> beatAgain(lateness.beat(clock.now())));
+        thread.execute(() -> beatAgain(stallDetector.heartbeat(clock.now())));
     }
 
     /** Told how long the thread was away, in nanoseconds, once what had arrived meanwhile was read. */
@@ -91,22 +91,22 @@
 
     /** The longest that the thread was away so far, in nanoseconds. */
     public long longestAway() {
-        return lateness.longest();
+        return stallDetector.longestNs();
     }
 
     private void beatAgain(long due) {
         thread.executeAfter(
                 () -> {
-                    late();
-                    beatAgain(lateness.beat(clock.now()));
+                    isStalled();
+                    beatAgain(stallDetector.heartbeat(clock.now()));
                 },
                 Math.max(0, due - clock.now()),
                 TimeUnit.NANOSECONDS);
     }
 
     @Override
-    public boolean late() {
-        if (lateness.late(clock.now()) && !catchingUp) {
+    public boolean isStalled() {
+        if (stallDetector.isStalled(clock.now()) && !catchingUp) {
             catchingUp = true;
             afterReading(this::caughtUp);
         }
@@ -115,7 +115,7 @@
 
     private void caughtUp() {
         catchingUp = false;
-        long ns = lateness.caughtUp();
+        long ns = stallDetector.endStall();
         if (ns > NOTEWORTHY_NS) {
             System.err.println("late: the I/O thread was away for " + ns / Clock.MS + " ms");
         }
@@ -163,7 +163,7 @@
     }
 
     private void inTime(Runnable task) {
-        if (late()) {
+        if (isStalled()) {
             deferred.add(task);
         } else {
             guarded(task);
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -92,9 +92,9 @@
                 also.add(scheme.same(scratch.key));
             }
         });
-        ruling.begin(m.cls(), m.tenant(), m.destination());
+        ruling.begin(m.classIndex(), m.tenantIndex(), m.destination());
         if (book != null) {
-            book.arrived(m.tenant(), now);
+            book.arrived(m.tenantIndex(), now);
             book.decide(m, facts, state, now, wallMs, ruling);
         }
         String fault = ruling.cls < 0
@@ -105,7 +105,7 @@
 
     private ActiveRequest.Message changed(ActiveRequest.Message m, boolean known, long now) {
         String same = ruling.key.isEmpty() ? "" : book.scheme().same(ruling.key);
-        boolean other = ruling.cls != m.cls();
+        boolean other = ruling.cls != m.classIndex();
         long deadline = m.deadline();
         if (other) { // that of the class it came as may be longer
             deadline = Math.min(deadline, now + deadlinesNs.get(ruling.cls));
@@ -115,7 +115,7 @@
         }
         if (same.isEmpty()
                 && !other
-                && ruling.tenant == m.tenant()
+                && ruling.tenant == m.tenantIndex()
                 && ruling.destination == m.destination()
                 && deadline == m.deadline()) {
             return m;
@@ -127,15 +127,15 @@
         // twice
         return new ActiveRequest.Message(
                 m.id(),
-                m.front(),
+                m.frontend(),
                 ruling.cls,
                 ruling.tenant,
                 ruling.destination,
                 deadline,
                 remember,
-                m.again(),
-                m.heedsWindow() && same.isEmpty(),
-                m.key(),
+                m.resubmitted(),
+                m.retriesWithinKeyWindow() && same.isEmpty(),
+                m.idempotencyKey(),
                 m.body(),
                 same);
     }
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -76,12 +76,12 @@
             RuleResult into) {
         decide(
                 m.id(),
-                m.cls(),
-                m.tenant(),
+                m.classIndex(),
+                m.tenantIndex(),
                 m.destination(),
                 Math.max(0, m.deadline() - now),
-                m.again(),
-                m.key(),
+                m.resubmitted(),
+                m.idempotencyKey(),
                 facts,
                 state,
                 now,
@@ -149,7 +149,7 @@
     }
 
     static boolean destination(long number) {
-        return number >= 0 && number < RequestDispatcher.NOWHERE;
+        return number >= 0 && number < RequestDispatcher.NO_DESTINATION;
     }
 
     void erred(Rule rule, EvaluationError e, long now) {
--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -2,8 +2,8 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.FinalOutcome;
 import elderseam.policy.Sender;
 import java.util.ArrayList;
@@ -84,7 +84,7 @@
             return null;
         }
         if (closing || held.size() >= place.plan().fleet().held() || !endpoints.containsKey(m.destination())) {
-            return FinalOutcome.refused(Policies.AGAIN_NS);
+            return FinalOutcome.rejected(Policies.AGAIN_NS);
         }
         Held h = new Held(m);
         held.put(m.id(), h);
@@ -103,7 +103,7 @@
                 ? BaselinePolicy.Verdict.later(BACK_NS)
                 : policy.pick(h.m.destination(), of, h.m, h.attempts, now);
         if (v.endpoint() == null && v.refuse()) {
-            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
+            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.rejected(Policies.AGAIN_NS));
         } else if (v.endpoint() == null) {
             place.at(now + v.laterNs(), () -> tryNow(h));
         } else {
@@ -123,23 +123,23 @@
                 h.m.deadline() - MARGIN_NS,
                 new AttemptListener() {
                     @Override
-                    public boolean mayLeave() {
+                    public boolean maySend() {
                         return held.get(h.m.id()) == h;
                     }
 
                     @Override
-                    public void ended(End end) {
+                    public void ended(AttemptOutcome end) {
                         BaselineDispatcher.this.ended(h, endpoint, now, end);
                     }
 
                     @Override
-                    public void answeredLate(End end) {
+                    public void answeredLate(AttemptOutcome end) {
                         // it has had its end
                     }
                 });
     }
 
-    private void ended(Held h, String endpoint, long start, End end) {
+    private void ended(Held h, String endpoint, long start, AttemptOutcome end) {
         long now = place.time().now();
         h.out = false;
         out--;
@@ -151,7 +151,7 @@
         if (end.status() == Status.DELIVERED) {
             end(h, FinalOutcome.DELIVERED);
         } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().attempts()) {
-            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
+            end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.rejected(Policies.AGAIN_NS));
         } else {
             place.at(
                     now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))),
@@ -169,12 +169,12 @@
 
     private static boolean mayRepeat(Held h, long now) {
         return !h.maybeRan
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED
+                || Policies.CLASSES.get(h.m.classIndex()).effect() == Sender.Effect.SAFE
+                || Policies.CLASSES.get(h.m.classIndex()).effect() == Sender.Effect.KEYED
                         && now
                                         - (h.m.deadline()
                                                 - Policies.CLASSES
-                                                        .get(h.m.cls())
+                                                        .get(h.m.classIndex())
                                                         .deadlineNs())
                                 < 5_000 * Policies.MS;
     }
@@ -182,7 +182,7 @@
     private void expire(Held h) {
         if (held.get(h.m.id()) == h) {
             boolean unsure = h.maybeRan || h.out;
-            end(h, unsure ? FinalOutcome.FAILED : FinalOutcome.refused(Policies.AGAIN_NS));
+            end(h, unsure ? FinalOutcome.FAILED : FinalOutcome.rejected(Policies.AGAIN_NS));
         }
     }
 
--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -1,8 +1,8 @@
 package elderseam.testkit.emulator;
 
 import elderseam.core.ActiveRequest;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.List;
@@ -31,7 +31,7 @@
 
     void sent(long destination, String endpoint, long now) {}
 
-    void ended(long destination, String endpoint, long tookNs, End end, long now) {}
+    void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {}
 
     final String next(long destination, List<String> of) {
         return of.get(Math.floorMod(turns.merge(destination, 1, Integer::sum), of.size()));
@@ -64,7 +64,7 @@
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, End end, long now) {
+        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
             out.merge(endpoint, -1, Integer::sum);
         }
     }
@@ -117,7 +117,7 @@
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, End end, long now) {
+        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
             State s = states.get(destination);
             s.out--;
             if (end.status() != Status.DELIVERED) {
@@ -163,7 +163,7 @@
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, End end, long now) {
+        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
             at(destination, now)[1] += end.status() == Status.DELIVERED ? 1 : 0;
         }
     }
@@ -192,7 +192,7 @@
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, End end, long now) {
+        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
             if (end.waitNs() > 0) {
                 waits.merge(destination, now + end.waitNs(), Math::max);
             }
--- a/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
+++ b/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
@@ -213,8 +213,8 @@
         }
         o.taken = false;
         world.watcher.answered(world.time.now(), o.m, answer);
-        if (answer.kind() == FinalOutcome.Kind.REFUSED) {
-            again(o, answer.againNs());
+        if (answer.kind() == FinalOutcome.Kind.REJECTED) {
+            again(o, answer.retryAfterNs());
         } else {
             end(o, answer.kind());
         }
@@ -227,7 +227,7 @@
         boolean past = window > 0
                 && at >= o.m.born() + window; // a repeat would no longer be dropped, as the platform's clients know
         if (past || at >= o.m.deadline() || o.tries > plan.clients().retries()) {
-            end(o, FinalOutcome.Kind.REFUSED);
+            end(o, FinalOutcome.Kind.REJECTED);
         } else {
             world.time.at(at, () -> hand(o));
         }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -1,7 +1,7 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.testkit.emulator.Scenario.Fault;
 import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.ArrayList;
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -1,10 +1,10 @@
 package elderseam.testkit.emulator;
 
 import elderseam.core.AttemptListener;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.EndpointCall;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.HashMap;
 import java.util.Map;
@@ -86,7 +86,7 @@
             if (time.now() + connect > connectBy) {
                 time.at(
                         Math.max(time.now(), connectBy),
-                        () -> ends(End.unanswered(Progress.NOT_CONNECTED, Status.TIMED_OUT)));
+                        () -> ends(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.TIMED_OUT)));
             } else {
                 time.at(time.now() + connect, this::leave);
             }
@@ -102,8 +102,8 @@
             if (over || !alive.getAsBoolean()) {
                 return;
             }
-            if (!attempt.mayLeave()) {
-                ends(End.unanswered(Progress.NOT_CONNECTED, Status.HELD));
+            if (!attempt.maySend()) {
+                ends(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.HELD));
                 return;
             }
             watcher.called(time.now(), dispatcher, m, name);
@@ -112,7 +112,9 @@
             boolean after = lost && RandomStreams.unit(seed, m.id(), number, 14) < 0.5;
             long way = delay(m.id(), number, 15);
             if (lost && !after) {
-                time.at(time.now() + way, () -> ends(End.unanswered(Progress.PARTLY_WRITTEN, Status.BROKEN)));
+                time.at(
+                        time.now() + way,
+                        () -> ends(AttemptOutcome.unanswered(Progress.PARTLY_WRITTEN, Status.BROKEN)));
                 return;
             }
             EmulatedDestination.Reply r = to.call(time.now() + way, endpoint, m, number);
@@ -124,9 +126,13 @@
                     ? EmulatedDestination.NEVER
                     : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
             if (lost) {
-                time.at(Math.min(answerBy, back), () -> ends(End.unanswered(Progress.WRITTEN, Status.BROKEN)));
+                time.at(
+                        Math.min(answerBy, back),
+                        () -> ends(AttemptOutcome.unanswered(Progress.WRITTEN, Status.BROKEN)));
             } else if (back > answerBy) {
-                time.at(Math.max(time.now(), answerBy), () -> ends(End.unanswered(progress, Status.TIMED_OUT)));
+                time.at(
+                        Math.max(time.now(), answerBy),
+                        () -> ends(AttemptOutcome.unanswered(progress, Status.TIMED_OUT)));
             }
             if (!lost && back < answerBy + LISTENS_NS) {
                 time.at(back, () -> answered(r));
@@ -134,7 +140,7 @@
         }
 
         private void answered(EmulatedDestination.Reply r) {
-            End end = new End(r.progress(), r.status(), r.waitNs(), r.left(), r.perS());
+            AttemptOutcome end = new AttemptOutcome(r.progress(), r.status(), r.waitNs(), r.left(), r.perS());
             if (!alive.getAsBoolean()) {
                 return;
             }
@@ -148,7 +154,7 @@
             }
         }
 
-        private void ends(End end) {
+        private void ends(AttemptOutcome end) {
             if (!over && alive.getAsBoolean()) {
                 over = true;
                 if (left) {
@@ -159,8 +165,8 @@
         }
 
         @Override
-        public void abandon() {
-            ends(End.unanswered(progress, Status.ABANDONED));
+        public void cancel() {
+            ends(AttemptOutcome.unanswered(progress, Status.ABANDONED));
         }
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/PartitionView.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -83,7 +83,7 @@
             listed.values().forEach(all::addAll);
             preferred = EndpointSubsetting.preferred(
                     "m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
-            relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
+            relay.setFleetShare(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
         }
         place.at(place.time().now() + LOOK_NS, this::look);
     }
--- a/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -54,23 +54,23 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e); // memory does not fail so
         }
-        relay.front((byte) 0, this, this);
+        relay.registerFrontend((byte) 0, this, this);
         if (remembers) {
-            relay.handover().remember();
+            relay.snapshots().restoreAndSave();
         }
         this.shares = shares ? new PartitionView(place, relay) : null;
     }
 
     @Override
     public FinalOutcome take(ActiveRequest.Message m) {
-        return relay.take(m);
+        return relay.submit(m).orElse(null);
     }
 
     /** The first list brings back what an earlier process left. */
     @Override
     public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
         boolean first = kind == Sender.ListKind.WHOLE;
-        relay.hosts(kind, list);
+        relay.updateEndpoints(kind, list);
         if (shares != null) {
             shares.hosts(kind, list);
         }
@@ -81,12 +81,12 @@
 
     @Override
     public void closing(long end) {
-        relay.closing(end);
+        relay.shutDownBy(end);
     }
 
     @Override
     public void breakers(BiConsumer<Long, Sender.Breaker> each) {
-        relay.breakers(each);
+        relay.forEachBreaker(each);
     }
 
     @Override
@@ -107,13 +107,13 @@
     }
 
     @Override
-    public boolean late() {
+    public boolean isStalled() {
         return false;
     }
 
     @Override
-    public void ended(ActiveRequest.Message message, FinalOutcome answer) {
-        relay.told(message.id());
+    public void completed(ActiveRequest.Message message, FinalOutcome answer) {
+        relay.markNotified(message.id());
         place.ended(message, answer);
     }
 
--- a/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
+++ b/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
@@ -1,6 +1,6 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.EndpointCall;
+import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -113,7 +113,7 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
         out.merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
         outOf.merge(dispatcher, -1, Integer::sum);
         outBy.get(dispatcher).merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
--- a/src/main/java/elderseam/testkit/emulator/RunStatistics.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -1,6 +1,6 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.EndpointCall;
+import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 import elderseam.policy.Sender;
 import java.util.HashMap;
@@ -49,7 +49,7 @@
 
     @Override
     public void answered(long now, Msg m, FinalOutcome answer) {
-        if (answer.kind() == FinalOutcome.Kind.REFUSED) {
+        if (answer.kind() == FinalOutcome.Kind.REJECTED) {
             refusedAt[second(now)]++;
         }
     }
@@ -66,7 +66,7 @@
                 latency[m.cls()].recordValue(Math.min(60_000_000, Math.max(1, (now - m.born()) / 1_000)));
                 worth[second(m.born())] += worth(Policies.CLASSES.get(m.cls()), now - m.born());
             }
-            case REFUSED -> refused++;
+            case REJECTED -> refused++;
             default -> failed++;
         }
     }
@@ -95,8 +95,8 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
-        if (end.status() != EndpointCall.Status.DELIVERED && end.status() != EndpointCall.Status.FULL) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
+        if (end.status() != AttemptOutcome.Status.DELIVERED && end.status() != AttemptOutcome.Status.FULL) {
             failedCalls++;
             failedAt[second(now)]++;
         }
--- a/src/main/java/elderseam/testkit/emulator/WorldListener.java
+++ b/src/main/java/elderseam/testkit/emulator/WorldListener.java
@@ -1,6 +1,6 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.EndpointCall;
+import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 
 /** What happens in a world, told to whoever watches: times in ns of virtual time, dispatchers by their number. */
@@ -26,7 +26,7 @@
     default void connects(long now, int dispatcher, String endpoint, long until) {}
 
     /** It knows how the attempt ended, or gave it up. */
-    default void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {}
+    default void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {}
 
     /** A destination acts on a message. */
     default void ran(long now, Msg m) {}
--- a/src/main/java/elderseam/testkit/emulator/WorldListeners.java
+++ b/src/main/java/elderseam/testkit/emulator/WorldListeners.java
@@ -1,6 +1,6 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.EndpointCall;
+import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 import java.util.List;
 
@@ -43,7 +43,7 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
         all.forEach(w -> w.ended(now, dispatcher, m, endpoint, end));
     }
 
--- a/src/main/java/elderseam/testkit/lab/ExperimentRun.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -110,11 +110,11 @@
     /** One line of JSON with the figures; the series are the report's. */
     public String json(Map<String, String> parameters) {
         List<String> all = new ArrayList<>();
-        parameters.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + JsonValue.quoted(v)));
-        all.add("\"policy\":" + JsonValue.quoted(policy));
+        parameters.forEach((k, v) -> all.add(JsonValue.quote(k) + ":" + JsonValue.quote(v)));
+        all.add("\"policy\":" + JsonValue.quote(policy));
         all.add("\"seed\":" + seed);
-        figures.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + number(v)));
-        broken.forEach((k, v) -> all.add(JsonValue.quoted("broken_" + k) + ":" + v));
+        figures.forEach((k, v) -> all.add(JsonValue.quote(k) + ":" + number(v)));
+        broken.forEach((k, v) -> all.add(JsonValue.quote("broken_" + k) + ":" + v));
         return "{" + String.join(",", all) + "}";
     }
 
--- a/src/test/java/elderseam/compat/CoreProcess.java
+++ b/src/test/java/elderseam/compat/CoreProcess.java
@@ -2,12 +2,12 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.core.EventLoop;
 import elderseam.core.FinalOutcome;
 import elderseam.core.InMemoryJournalStore;
@@ -24,6 +24,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 
 /** One process's core without sockets or threads: its clock, its journal and the answers of hosts are the test's. */
@@ -56,7 +57,7 @@
             Map.entry("safety.coldNs", "10000000000"),
             Map.entry("safety.fallMultiple", "2"),
             Map.entry("safety.fallNs", "2000000000")));
-    static final End DELIVERED = new End(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
+    static final AttemptOutcome DELIVERED = new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0);
 
     private record Timer(long at, int number, Runnable task) implements Comparable<Timer> {
         @Override
@@ -80,7 +81,7 @@
         this.clock = clock;
         journal = new Journal(store, 1_000_000, clock);
         relay = new RequestDispatcher(SETTINGS.settings(), 11, journal, clock, this, words -> {});
-        relay.front(
+        relay.registerFrontend(
                 (byte) 1, (m, answer) -> ended.add(m.id() + " " + answer.kind().ordinal()), this);
         discovery = new DiscoveryWatcher(null, null, null, new EndpointList(SETTINGS), relay);
     }
@@ -103,9 +104,9 @@
         discovery.known(JsonValue.read(list.getBytes(StandardCharsets.UTF_8)));
     }
 
-    FinalOutcome take(String id, int cls, int tenant, long destination, String same) {
+    Optional<FinalOutcome> take(String id, int cls, int tenant, long destination, String same) {
         long by = clock.now() + (cls == 0 ? 30_000 : 20_000) * Clock.MS;
-        return relay.take(new ActiveRequest.Message(
+        return relay.submit(new ActiveRequest.Message(
                 id,
                 (byte) 1,
                 cls,
@@ -120,7 +121,7 @@
                 same));
     }
 
-    void ends(String id, End end) {
+    void ends(String id, AttemptOutcome end) {
         attempts.remove(id).ended(end);
         pass(0);
     }
@@ -147,7 +148,7 @@
     }
 
     @Override
-    public boolean late() {
+    public boolean isStalled() {
         return false;
     }
 
@@ -155,7 +156,7 @@
     public EndpointCall send(
             ActiveRequest.Message message, String host, long connectBy, long answerBy, AttemptListener attempt) {
         attempts.put(message.id(), attempt);
-        return () -> attempt.ended(End.unanswered(Progress.WRITTEN, Status.ABANDONED));
+        return () -> attempt.ended(AttemptOutcome.unanswered(Progress.WRITTEN, Status.ABANDONED));
     }
 
     @Override
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -4,15 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.core.FinalOutcome;
 import elderseam.core.Handover;
-import elderseam.core.Handover.Estate;
-import elderseam.core.Handover.Out;
-import elderseam.core.Handover.Passed;
+import elderseam.core.Handover.ForwardedOutcome;
+import elderseam.core.Handover.InFlightAttempt;
+import elderseam.core.Handover.State;
 import elderseam.core.JsonValue;
 import elderseam.handover.HandoverChannel;
 import elderseam.handover.HandoverFrame;
@@ -40,8 +40,9 @@
     private static final String FRAMES = "handover/frames.hex";
     private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
             "{\"version\":3,\"zone\":\"Österreich\"}",
-            new Estate(
-                    new byte[] {1, -2, 3}, List.of(new Out("m1", 1, "a1", 5_000_000_000L), new Out("m2", 0, "b1", 7))),
+            new State(
+                    new byte[] {1, -2, 3},
+                    List.of(new InFlightAttempt("m1", 1, "a1", 5_000_000_000L), new InFlightAttempt("m2", 0, "b1", 7))),
             true);
 
     @TempDir
@@ -72,7 +73,8 @@
                 List.of(new HandoverFrame.Take(), GIVE, new HandoverFrame.Owned(), new HandoverFrame.Abandon("m1", 3)));
         for (Progress p :
                 List.of(Progress.NOT_CONNECTED, Progress.PARTLY_WRITTEN, Progress.WRITTEN, Progress.ANSWERED)) {
-            all.add(new HandoverFrame.Ended(new Passed("m1", 2, "a1", false, new End(p, Status.BROKEN, 0, 0, 0))));
+            all.add(new HandoverFrame.Ended(
+                    new ForwardedOutcome("m1", 2, "a1", false, new AttemptOutcome(p, Status.BROKEN, 0, 0, 0))));
         }
         for (Status s : List.of(
                 Status.DELIVERED,
@@ -86,7 +88,7 @@
                 Status.ABANDONED,
                 Status.HELD)) {
             all.add(new HandoverFrame.Ended(
-                    new Passed("m2", 5, "b1", true, new End(Progress.ANSWERED, s, 9, 0.25, 30))));
+                    new ForwardedOutcome("m2", 5, "b1", true, new AttemptOutcome(Progress.ANSWERED, s, 9, 0.25, 30))));
         }
         return all;
     }
@@ -108,10 +110,10 @@
     /** Records hold arrays, so that a Give is compared by its parts. */
     private static void assertSame(HandoverFrame expected, HandoverFrame actual) {
         if (expected instanceof HandoverFrame.Give e && actual instanceof HandoverFrame.Give a) {
-            assertArrayEquals(e.estate().learned(), a.estate().learned());
+            assertArrayEquals(e.estate().policySnapshot(), a.estate().policySnapshot());
             assertEquals(
-                    List.of(e.list(), e.estate().out(), e.drains()),
-                    List.of(a.list(), a.estate().out(), a.drains()));
+                    List.of(e.list(), e.estate().inFlight(), e.drains()),
+                    List.of(a.list(), a.estate().inFlight(), a.drains()));
         } else {
             assertEquals(expected, actual);
         }
@@ -145,22 +147,22 @@
         return new CoreProcess(CoreProcess.store(journal), new ManualClock(OlderProcess.PASSED_ON_NS));
     }
 
-    private static Estate passedOnAgain(CoreProcess newer, Estate given) {
+    private static State passedOnAgain(CoreProcess newer, State given) {
         newer.relay.handover().takeOver(given, o -> {});
-        return newer.relay.handover().passOn(p -> {});
+        return newer.relay.handover().transferTo(p -> {});
     }
 
     /**
      * What it would pass on itself is what it was given: the calls that are out, and all that was learned, byte for byte. The latter
      * without the journal, since each message that is taken back counts against its tenant.
      */
-    private static void assertTakesOverAll(Estate given) throws IOException {
+    private static void assertTakesOverAll(State given) throws IOException {
         assertArrayEquals(
-                given.learned(), passedOnAgain(newer(new byte[0]), given).learned());
-        Comparator<Out> byId = Comparator.comparing(Out::id);
+                given.policySnapshot(), passedOnAgain(newer(new byte[0]), given).policySnapshot());
+        Comparator<InFlightAttempt> byId = Comparator.comparing(InFlightAttempt::requestId);
         assertEquals(
-                given.out().stream().sorted(byId).toList(),
-                passedOnAgain(newer(Recorded.bytes(OlderProcess.JOURNAL)), given).out().stream()
+                given.inFlight().stream().sorted(byId).toList(),
+                passedOnAgain(newer(Recorded.bytes(OlderProcess.JOURNAL)), given).inFlight().stream()
                         .sorted(byId)
                         .toList());
     }
@@ -182,11 +184,11 @@
 
         CoreProcess newer = newer(Recorded.bytes(OlderProcess.JOURNAL));
         Handover handover = newer.relay.handover();
-        handover.takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.id(), o.attempt())));
+        handover.takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.requestId(), o.attempt())));
         newer.discovery.takenOver(JsonValue.read(given.list().getBytes(StandardCharsets.UTF_8)));
         assertEquals(given.list(), newer.discovery.list());
         List<String> breakers = new ArrayList<>();
-        newer.relay.breakers(
+        newer.relay.forEachBreaker(
                 (destination, b) -> breakers.add(destination + " " + b.standing() + (b.waitNs() > 0 ? " waits" : "")));
         assertEquals(
                 List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"),
@@ -195,23 +197,23 @@
         link.send(new HandoverFrame.Owned());
         olderReads(toOlder.get(1));
         newer.relay.recover(() -> 0, () -> {});
-        handover.abandon("late", 0);
+        handover.cancelAttempt("late", 0);
         olderReads(toOlder.get(2));
         for (byte[] record : toNewer.subList(1, toNewer.size())) {
             olderSends(record);
-            handover.passed(((HandoverFrame.Ended) link.await()).passed());
+            handover.outcomeForwarded(((HandoverFrame.Ended) link.await()).passed());
             newer.pass(0);
         }
         older.close();
         assertEquals(null, link.await());
         assertEquals(HandoverReceiver.Step.SETTLE, taking.lost());
-        handover.unheard();
+        handover.predecessorGone();
         newer.pass(300 * Clock.MS);
         for (String id : List.of("lead", "copy", "late")) {
-            assertEquals(FinalOutcome.DELIVERED, newer.journal.answer(id), id);
+            assertEquals(FinalOutcome.DELIVERED, newer.journal.outcome(id).orElseThrow(), id);
         }
         newer.ends("lost", CoreProcess.DELIVERED); // it may be repeated by its key, and was tried again
-        assertEquals(FinalOutcome.DELIVERED, newer.journal.answer("lost"));
+        assertEquals(FinalOutcome.DELIVERED, newer.journal.outcome("lost").orElseThrow());
         assertEquals(newer.ended.stream().distinct().toList(), newer.ended, "no end is told twice");
     }
 }
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -1,9 +1,9 @@
 package elderseam.compat;
 
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import elderseam.core.Handover;
 import elderseam.core.InMemoryJournalStore;
 import elderseam.handover.HandoverFrame;
@@ -34,7 +34,7 @@
     private int number;
 
     private OlderProcess() throws IOException {
-        process.relay.handover().remember();
+        process.relay.snapshots().restoreAndSave();
         process.list(LIST.formatted("DRAINING"));
         for (int i = 0; i < 60; i++) {
             take(1 + i % 3, i % 2);
@@ -48,13 +48,13 @@
         }
         for (int i = 0; i < 6; i++) {
             take(2, 0);
-            answerAll(End.unanswered(Progress.WRITTEN, Status.BROKEN));
+            answerAll(AttemptOutcome.unanswered(Progress.WRITTEN, Status.BROKEN));
         }
         take(3, 0);
-        answerAll(new End(Progress.ANSWERED, Status.FULL, 9_000 * Clock.MS, 0, 0));
+        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.FULL, 9_000 * Clock.MS, 0, 0));
         take(3, 1);
-        answerAll(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0.25, 30));
-        process.relay.detach("a2", true);
+        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.25, 30));
+        process.relay.setDrained("a2", true);
         process.take("lead", 0, 0, 1, "orders:7");
         process.take("copy", 0, 0, 1, "orders:7");
         process.take("late", 1, 1, 4, "");
@@ -72,18 +72,18 @@
         process.take("m" + number++, 1, tenant, destination, "");
     }
 
-    private void answerAll(End end) {
+    private void answerAll(AttemptOutcome end) {
         List.copyOf(process.attempts.keySet()).forEach(id -> process.ends(id, end));
     }
 
     /** What it sends once it is asked, to a newer process that has it give up the call of "late". */
     private List<HandoverFrame> passesOn() {
         List<HandoverFrame> sent = new ArrayList<>();
-        Handover.Estate estate = process.relay.handover().passOn(p -> sent.add(new HandoverFrame.Ended(p)));
+        Handover.State estate = process.relay.handover().transferTo(p -> sent.add(new HandoverFrame.Ended(p)));
         sent.add(new HandoverFrame.Give(process.discovery.list(), estate, true));
         process.ends("lead", CoreProcess.DELIVERED);
-        process.relay.handover().abandon("late", 0);
-        process.attempts.get("late").answeredLate(new End(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
+        process.relay.handover().cancelAttempt("late", 0);
+        process.attempts.get("late").answeredLate(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
         return sent;
     }
 
--- /dev/null
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -0,0 +1,143 @@
+package elderseam.core;
+
+import elderseam.policy.Sender;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Dispatchers over one journal folder, with one endpoint, without sockets: tests run the timers and end the attempts.
+ */
+final class DispatcherHarness implements EventLoop, AttemptSender {
+    static final AttemptOutcome DELIVERED =
+            new AttemptOutcome(AttemptOutcome.Progress.ANSWERED, AttemptOutcome.Status.DELIVERED, 0, 0, 0);
+    static final AttemptOutcome NO_SLOT =
+            new AttemptOutcome(AttemptOutcome.Progress.ANSWERED, AttemptOutcome.Status.NO_SLOT, 0, 0, 0);
+
+    private static final byte FRONTEND = 0;
+    private static final String ENDPOINT = "h";
+    private static final long DESTINATION = 1;
+    private static final int NO_TENANT = -1;
+    private static final long JOURNAL_BYTES = 1_000_000;
+    private static final long DEADLINE_NS = 9_000 * Clock.MS;
+
+    final Clock clock = new Clock();
+
+    /** Tasks for later, or for after a pass over the sockets. */
+    final List<Runnable> timers = new ArrayList<>();
+
+    /** Tasks that are due. */
+    final List<Runnable> dueTasks = new ArrayList<>();
+
+    /** All attempts so far, of all dispatchers. */
+    final List<AttemptListener> attempts = new ArrayList<>();
+
+    /** {@code ID KIND} of each completed request, of all dispatchers. */
+    final List<String> completed = new ArrayList<>();
+
+    boolean stalled;
+    RequestDispatcher dispatcher;
+    private final Path folder;
+
+    DispatcherHarness(Path folder) throws IOException {
+        this.folder = folder;
+        dispatcher = newDispatcher();
+        listEndpoint(dispatcher, Sender.ListKind.WHOLE);
+    }
+
+    /** A dispatcher on the same folder, as the next process has it. */
+    RequestDispatcher newDispatcher() throws IOException {
+        return newDispatcher(new Journal(folder, JOURNAL_BYTES, clock));
+    }
+
+    RequestDispatcher newDispatcher(Journal journal) {
+        RequestDispatcher created = new RequestDispatcher(settings(), 1, journal, clock, this);
+        created.registerFrontend(
+                FRONTEND, (message, outcome) -> completed.add(message.id() + " " + outcome.kind()), this);
+        return created;
+    }
+
+    private static Sender.Settings settings() {
+        return new SettingsMap(Map.of(
+                        "discovery", "ask",
+                        "extra.callSlots", "40",
+                        "limits.mostHeld", "64",
+                        "limits.maxAttempts", "3",
+                        "services.count", "1",
+                        "services.0.effect", "once",
+                        "services.0.targetNs", "2000000000",
+                        "services.0.giveUpNs", "9000000000"))
+                .settings();
+    }
+
+    static void listEndpoint(RequestDispatcher target, Sender.ListKind kind) {
+        target.updateEndpoints(kind, List.of(endpoint(Sender.Listing.READY)));
+    }
+
+    static Sender.Endpoint endpoint(Sender.Listing listing) {
+        return new Sender.Endpoint(ENDPOINT, DESTINATION, 0, 0, listing, 100);
+    }
+
+    Optional<FinalOutcome> submit(String id) {
+        return submit(id, DESTINATION);
+    }
+
+    Optional<FinalOutcome> submit(String id, long destination) {
+        long deadline = clock.now() + DEADLINE_NS;
+        return dispatcher.submit(new ActiveRequest.Message(
+                id, FRONTEND, 0, NO_TENANT, destination, deadline, deadline, false, true, "", new byte[0]));
+    }
+
+    Optional<FinalOutcome> submitWithKey(String id, String key, String... alternateKeys) {
+        long deadline = clock.now() + DEADLINE_NS;
+        ActiveRequest.Message message = new ActiveRequest.Message(
+                id, FRONTEND, 0, NO_TENANT, DESTINATION, deadline, deadline, false, false, "", new byte[0], key);
+        return dispatcher.submit(message, List.of(alternateKeys));
+    }
+
+    /** Ends an attempt, counted from 0 over all dispatchers, and runs what is due then. */
+    void end(int attempt, AttemptOutcome outcome) {
+        attempts.get(attempt).ended(outcome);
+        runDueTasks();
+    }
+
+    /** Ends the attempt that was begun last. */
+    void endLast(AttemptOutcome outcome) {
+        end(attempts.size() - 1, outcome);
+    }
+
+    void runDueTasks() {
+        List<Runnable> due = List.copyOf(dueTasks);
+        dueTasks.clear();
+        due.forEach(Runnable::run);
+    }
+
+    @Override
+    public void at(long time, Runnable task) {
+        (time <= clock.now() ? dueTasks : timers).add(task);
+    }
+
+    @Override
+    public void afterReading(Runnable task) {
+        timers.add(task);
+    }
+
+    @Override
+    public boolean isStalled() {
+        return stalled;
+    }
+
+    @Override
+    public EndpointCall send(
+            ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener) {
+        attempts.add(listener);
+        return () -> listener.ended(
+                AttemptOutcome.unanswered(AttemptOutcome.Progress.WRITTEN, AttemptOutcome.Status.ABANDONED));
+    }
+
+    @Override
+    public void closeIdle(String endpoint) {}
+}
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -1,20 +1,26 @@
 package elderseam.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What the journal gives back, before and after a compaction. */
 class JournalTest {
-    private static final long CAP = 200_000, S = 1_000 * Clock.MS;
+    private static final long CAPACITY = 200_000;
+    private static final long SECOND = 1_000 * Clock.MS;
+
+    /** A lifetime of a message whose outcome need not be remembered. */
+    private static final long EXPIRED = -1;
 
     @TempDir
     Path folder;
@@ -24,183 +30,185 @@
 
     @BeforeEach
     void open() throws IOException {
-        journal = new Journal(folder, CAP, clock);
+        journal = new Journal(folder, CAPACITY, clock);
     }
 
-    private ActiveRequest.Message message(String id, int bytes, long liveS) {
-        long until = clock.now() + liveS * S;
+    private ActiveRequest.Message message(String id, int bytes, long lifetimeS) {
+        long until = clock.now() + lifetimeS * SECOND;
         return new ActiveRequest.Message(id, (byte) 0, 1, 2, 7, until, until, false, true, "key", new byte[bytes]);
     }
 
-    private void again() throws IOException {
+    private ActiveRequest.Message messageWithKey(String id, String key, long lifetimeS) {
+        long until = clock.now() + lifetimeS * SECOND;
+        return new ActiveRequest.Message(id, (byte) 0, 1, 2, 7, until, until, false, false, "", new byte[50], key);
+    }
+
+    private void reopen() throws IOException {
         journal.close();
         open();
     }
 
+    /** Fills the journal several times over, so that it is compacted. */
     private void churn() throws IOException {
         for (int i = 0; i < 2_000; i++) {
-            ActiveRequest.Message m = message("churn" + i, 500, -1); // its end need not be remembered
-            assertTrue(journal.taken(m), "no room for " + i);
-            journal.ended(m, FinalOutcome.DELIVERED, true);
-            assertTrue(Files.size(folder.resolve("journal")) <= CAP);
+            ActiveRequest.Message message = message("churn" + i, 500, EXPIRED);
+            assertTrue(journal.accepted(message), "no capacity for " + i);
+            journal.completed(message, FinalOutcome.DELIVERED, true);
+            assertTrue(Files.size(folder.resolve("journal")) <= CAPACITY);
         }
     }
 
     /** Attempts used, and from when a keyed one may have run, outlast compaction and restart. */
     @Test
     void unfinishedMessagesComeBackAsTheyWere() throws IOException {
-        journal.taken(message("a", 100, 60));
-        journal.sent("a");
-        journal.result("a", false);
-        journal.sent("a");
-        journal.result("a", true);
+        journal.accepted(message("a", 100, 60));
+        journal.attemptBegins("a");
+        journal.attemptEnded("a", false);
+        journal.attemptBegins("a");
+        journal.attemptEnded("a", true);
         long ran = clock.now();
-        journal.taken(message("b", 10, 60));
-        journal.sent("b");
-        journal.result("b", false);
-        journal.taken(message("c", 10, 60));
-        journal.sent("c");
+        journal.accepted(message("b", 10, 60));
+        journal.attemptBegins("b");
+        journal.attemptEnded("b", false);
+        journal.accepted(message("c", 10, 60));
+        journal.attemptBegins("c");
         churn();
-        again();
-        List<ActiveRequest> back = journal.unfinished(java.util.Set.of());
+        reopen();
+        List<ActiveRequest> unfinished = journal.unfinished(Set.of());
         assertEquals(
                 List.of("a2true", "b1false", "c1true"),
-                back.stream().map(s -> s.id() + s.attempts + s.mayHaveRun).toList());
-        ActiveRequest a = back.get(0);
+                unfinished.stream()
+                        .map(request -> request.id() + request.attempts + request.mayHaveRun)
+                        .toList());
+        ActiveRequest a = unfinished.get(0);
         assertEquals(100, a.message.body().length);
-        assertEquals(List.of(1, 2, "key"), List.of(a.message.cls(), a.message.tenant(), a.message.key()));
-        assertTrue(Math.abs(a.keyUntil - ran) < S, "when it may have run");
-        assertTrue(Math.abs(a.message.deadline() - clock.now() - 60 * S) < 20 * S, "deadline");
+        assertEquals(
+                List.of(1, 2, "key"),
+                List.of(a.message.classIndex(), a.message.tenantIndex(), a.message.idempotencyKey()));
+        assertTrue(Math.abs(a.deduplicatedUntil - ran) < SECOND, "when it may have run");
+        assertTrue(Math.abs(a.message.deadline() - clock.now() - 60 * SECOND) < 20 * SECOND, "deadline");
     }
 
-    /** An end that is owed is given back until it is told; a refused one is then forgotten, others are not. */
+    /** An outcome that is owed is given back until notified; a rejection is then forgotten, others are not. */
     @Test
-    void endsAreOwedUntilTold() throws IOException {
-        ActiveRequest.Message refused = message("r", 10, 60),
-                failed = message("f", 10, 60),
-                unheard = message("u", 10, 60);
-        for (ActiveRequest.Message m : List.of(refused, failed, unheard)) {
-            journal.taken(m);
+    void outcomesAreOwedUntilNotified() throws IOException {
+        ActiveRequest.Message rejected = message("r", 10, 60);
+        ActiveRequest.Message failed = message("f", 10, 60);
+        ActiveRequest.Message unnotified = message("u", 10, 60);
+        for (ActiveRequest.Message message : List.of(rejected, failed, unnotified)) {
+            journal.accepted(message);
         }
-        journal.ended(refused, FinalOutcome.refused(5), true);
-        journal.ended(failed, FinalOutcome.FAILED, true);
-        journal.ended(unheard, FinalOutcome.refused(9), true);
-        journal.told("r");
-        journal.told("f");
+        journal.completed(rejected, FinalOutcome.rejected(5), true);
+        journal.completed(failed, FinalOutcome.FAILED, true);
+        journal.completed(unnotified, FinalOutcome.rejected(9), true);
+        journal.notified("r");
+        journal.notified("f");
         churn();
-        again();
-        assertNull(journal.answer("r"));
-        assertEquals(FinalOutcome.FAILED, journal.answer("f"));
+        reopen();
+        assertEquals(Optional.empty(), journal.outcome("r"));
+        assertEquals(Optional.of(FinalOutcome.FAILED), journal.outcome("f"));
         assertEquals(
                 List.of("u9"),
-                journal.owed().entrySet().stream()
-                        .map(e -> e.getKey().id() + e.getValue().againNs())
+                journal.owedOutcomes().entrySet().stream()
+                        .map(owed -> owed.getKey().id() + owed.getValue().retryAfterNs())
                         .toList());
-        assertEquals(List.of(), journal.unfinished(java.util.Set.of()));
+        assertEquals(List.of(), journal.unfinished(Set.of()));
     }
 
-    /** Ids are always new: those whose end need not be remembered must not stay until the file is full. */
+    /** Ids are always new: those whose outcome need not be remembered must not stay until the file is full. */
     @Test
-    void endsAreForgottenInTime() throws IOException {
+    void outcomesAreForgottenInTime() throws IOException {
         journal.close();
         journal = new Journal(folder, 100_000_000, clock);
         for (int i = 0; i < 5_000; i++) {
-            ActiveRequest.Message m = message("m" + i, 10, -1);
-            journal.taken(m);
-            journal.ended(m, FinalOutcome.DELIVERED, true);
+            ActiveRequest.Message message = message("m" + i, 10, EXPIRED);
+            journal.accepted(message);
+            journal.completed(message, FinalOutcome.DELIVERED, true);
         }
-        assertNull(journal.answer("m1"));
-        ActiveRequest.Message kept = message("kept", 10, 60);
-        journal.taken(kept);
-        journal.ended(kept, FinalOutcome.DELIVERED, true);
-        assertEquals(FinalOutcome.DELIVERED, journal.answer("kept"));
+        assertEquals(Optional.empty(), journal.outcome("m1"));
+        ActiveRequest.Message remembered = message("kept", 10, 60);
+        journal.accepted(remembered);
+        journal.completed(remembered, FinalOutcome.DELIVERED, true);
+        assertEquals(Optional.of(FinalOutcome.DELIVERED), journal.outcome("kept"));
     }
 
-    /** What is full refuses, and has room again once something ended. */
+    /** A full journal accepts nothing, and has capacity again once a message has its outcome. */
     @Test
-    void aFullJournalHasRoomAgain() throws IOException {
-        ActiveRequest.Message first = message("m0", 20_000, -1);
-        journal.taken(first);
-        int taken = 1;
-        while (journal.taken(message("m" + taken, 20_000, 60))) {
-            taken++;
+    void aFullJournalHasCapacityAgain() throws IOException {
+        ActiveRequest.Message first = message("m0", 20_000, EXPIRED);
+        journal.accepted(first);
+        int accepted = 1;
+        while (journal.accepted(message("m" + accepted, 20_000, 60))) {
+            accepted++;
         }
-        assertEquals(4, taken);
-        assertTrue(journal.sent("m1"), "bookkeeping still has room");
-        journal.ended(first, FinalOutcome.DELIVERED, true);
-        assertTrue(journal.taken(message("x", 20_000, 60)));
-        try (var files = Files.list(folder)) {
-            assertTrue(files.mapToLong(f -> f.toFile().length()).sum() <= CAP);
+        assertEquals(4, accepted);
+        assertTrue(journal.attemptBegins("m1"), "attempts still have capacity");
+        journal.completed(first, FinalOutcome.DELIVERED, true);
+        assertTrue(journal.accepted(message("x", 20_000, 60)));
+        try (Stream<Path> files = Files.list(folder)) {
+            assertTrue(files.mapToLong(file -> file.toFile().length()).sum() <= CAPACITY);
         }
     }
 
-    private ActiveRequest.Message keyed(String id, String same, long liveS) {
-        ActiveRequest.Message m = message(id, 50, liveS);
-        return new ActiveRequest.Message(
-                id,
-                m.front(),
-                m.cls(),
-                m.tenant(),
-                m.destination(),
-                m.deadline(),
-                m.rememberUntil(),
-                false,
-                false,
-                "",
-                m.body(),
-                same);
-    }
-
-    /** Keys, copies that wait and the schemes in use outlast compaction and restart; a refused one's key is free again. */
+    /**
+     * Keys, waiting duplicates and the schemes in use outlast compaction and restart; a rejected one's key is free
+     * again.
+     */
     @Test
     void keysComeBackAsTheyWere() throws IOException {
-        assertTrue(journal.scheme("s0", new byte[300]) && journal.scheme("s1", new byte[300]));
-        ActiveRequest.Message delivered = keyed("d", "s1:d", 60),
-                refused = keyed("r", "s1:r", 60),
-                pending = keyed("p", "s1:p", 60);
-        for (ActiveRequest.Message m : List.of(delivered, refused, pending)) {
-            assertTrue(journal.taken(m));
+        assertTrue(journal.putKeyScheme("s0", new byte[300]) && journal.putKeyScheme("s1", new byte[300]));
+        ActiveRequest.Message delivered = messageWithKey("d", "s1:d", 60);
+        ActiveRequest.Message rejected = messageWithKey("r", "s1:r", 60);
+        ActiveRequest.Message pending = messageWithKey("p", "s1:p", 60);
+        for (ActiveRequest.Message message : List.of(delivered, rejected, pending)) {
+            assertTrue(journal.accepted(message));
         }
-        assertTrue(journal.joined(keyed("copy", "s1:p", 60)));
-        journal.ended(delivered, FinalOutcome.DELIVERED, true);
-        journal.ended(refused, FinalOutcome.refused(1), false);
-        assertTrue(journal.scheme("s2", new byte[400]));
+        assertTrue(journal.acceptedDuplicate(messageWithKey("copy", "s1:p", 60)));
+        journal.completed(delivered, FinalOutcome.DELIVERED, true);
+        journal.completed(rejected, FinalOutcome.rejected(1), false);
+        assertTrue(journal.putKeyScheme("s2", new byte[400]));
         for (int round = 0; round < 3; round++) {
-            assertEquals(FinalOutcome.DELIVERED, journal.answerOf("s1:d"));
-            assertNull(journal.answerOf("s1:r"));
-            assertNull(journal.answerOf("s1:p"));
+            assertEquals(Optional.of(FinalOutcome.DELIVERED), journal.outcomeOfKey("s1:d"));
+            assertEquals(Optional.empty(), journal.outcomeOfKey("s1:r"));
+            assertEquals(Optional.empty(), journal.outcomeOfKey("s1:p"));
             assertEquals(
                     List.of("p s1:p"),
-                    journal.unfinished(java.util.Set.of()).stream()
-                            .map(x -> x.id() + " " + x.message.same())
+                    journal.unfinished(Set.of()).stream()
+                            .map(request -> idAndKey(request.message))
                             .toList());
             assertEquals(
                     List.of("copy s1:p"),
-                    journal.joined().stream().map(x -> x.id() + " " + x.same()).toList());
-            assertEquals(java.util.Set.of("s1", "s2"), journal.schemes().keySet());
+                    journal.waitingDuplicates().stream()
+                            .map(JournalTest::idAndKey)
+                            .toList());
+            assertEquals(Set.of("s1", "s2"), journal.keySchemes().keySet());
             if (round == 1) {
                 churn();
             }
-            again();
+            reopen();
         }
-        journal.ended(pending, FinalOutcome.FAILED, false);
-        journal.ended(keyed("copy", "s1:p", 60), FinalOutcome.FAILED, false);
-        assertEquals(FinalOutcome.FAILED, journal.answerOf("s1:p"));
-        assertTrue(journal.joined().isEmpty());
+        journal.completed(pending, FinalOutcome.FAILED, false);
+        journal.completed(messageWithKey("copy", "s1:p", 60), FinalOutcome.FAILED, false);
+        assertEquals(Optional.of(FinalOutcome.FAILED), journal.outcomeOfKey("s1:p"));
+        assertTrue(journal.waitingDuplicates().isEmpty());
+    }
+
+    private static String idAndKey(ActiveRequest.Message message) {
+        return message.id() + " " + message.deduplicationKey();
     }
 
-    /** Once the last end with a key of it is no longer remembered, a scheme is gone, its bytes with it. */
+    /** Once the last outcome with a key of it is no longer remembered, a scheme is gone, its bytes with it. */
     @Test
     void aSchemeIsForgottenWithItsLastKey() throws IOException {
-        assertTrue(journal.scheme("old", new byte[20_000]));
-        ActiveRequest.Message m = keyed("m", "old:1", -1);
-        assertTrue(journal.taken(m));
-        journal.ended(m, FinalOutcome.DELIVERED, false);
-        assertTrue(journal.scheme("new", new byte[10]));
-        assertEquals(java.util.Set.of("new"), journal.schemes().keySet());
-        assertNull(journal.answerOf("old:1"));
+        assertTrue(journal.putKeyScheme("old", new byte[20_000]));
+        ActiveRequest.Message message = messageWithKey("m", "old:1", EXPIRED);
+        assertTrue(journal.accepted(message));
+        journal.completed(message, FinalOutcome.DELIVERED, false);
+        assertTrue(journal.putKeyScheme("new", new byte[10]));
+        assertEquals(Set.of("new"), journal.keySchemes().keySet());
+        assertEquals(Optional.empty(), journal.outcomeOfKey("old:1"));
         churn();
-        assertTrue(!journal.scheme("huge", new byte[120_000]), "no room for it");
-        assertEquals(java.util.Set.of("new"), journal.schemes().keySet());
+        assertTrue(!journal.putKeyScheme("huge", new byte[120_000]), "no capacity for it");
+        assertEquals(Set.of("new"), journal.keySchemes().keySet());
     }
 }
--- a/src/test/java/elderseam/core/LifecycleTest.java
+++ b/src/test/java/elderseam/core/LifecycleTest.java
@@ -11,42 +11,43 @@
 
 import org.junit.jupiter.api.Test;
 
+/** The states between a process's start and its end. */
 class LifecycleTest {
-    private final Lifecycle life = new Lifecycle();
+    private final Lifecycle lifecycle = new Lifecycle();
 
     @Test
     void drainsAndComesBack() {
-        assertEquals(STARTING, life.state());
-        assertTrue(life.rejoin());
-        assertFalse(life.ready());
-        life.started();
-        assertTrue(life.ready());
-        assertTrue(life.drain());
-        assertFalse(life.drain());
-        assertEquals(DRAINING, life.state());
-        life.clients(true);
-        assertEquals(DRAINED, life.state());
-        assertTrue(life.closing());
-        assertTrue(life.rejoin());
-        assertEquals(READY, life.state());
+        assertEquals(STARTING, lifecycle.state());
+        assertTrue(lifecycle.rejoin());
+        assertFalse(lifecycle.isReady());
+        lifecycle.markStarted();
+        assertTrue(lifecycle.isReady());
+        assertTrue(lifecycle.beginDrain());
+        assertFalse(lifecycle.beginDrain());
+        assertEquals(DRAINING, lifecycle.state());
+        lifecycle.setClientsGone(true);
+        assertEquals(DRAINED, lifecycle.state());
+        assertTrue(lifecycle.closesConnections());
+        assertTrue(lifecycle.rejoin());
+        assertEquals(READY, lifecycle.state());
     }
 
-    /** A drain that begins before readiness keeps it from being told. */
+    /** A drain that begins before readiness keeps it from being reported. */
     @Test
     void aDrainWhileStartingHolds() {
-        life.drain();
-        life.started();
-        assertEquals(DRAINING, life.state());
+        lifecycle.beginDrain();
+        lifecycle.markStarted();
+        assertEquals(DRAINING, lifecycle.state());
     }
 
     @Test
     void theEndIsForGood() {
-        life.started();
-        life.drain();
-        assertTrue(life.end());
-        assertFalse(life.end());
-        assertFalse(life.rejoin());
-        assertFalse(life.drain());
-        assertEquals(ENDING, life.state());
+        lifecycle.markStarted();
+        lifecycle.beginDrain();
+        assertTrue(lifecycle.beginEnd());
+        assertFalse(lifecycle.beginEnd());
+        assertFalse(lifecycle.rejoin());
+        assertFalse(lifecycle.beginDrain());
+        assertEquals(ENDING, lifecycle.state());
     }
 }
--- /dev/null
+++ b/src/test/java/elderseam/core/PolicySnapshotsTest.java
@@ -0,0 +1,84 @@
+package elderseam.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
+import elderseam.policy.Sender;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The policy's learned state over a crash. */
+class PolicySnapshotsTest {
+    private static final int FAILURES_TO_TRIP = 4;
+
+    @TempDir
+    Path folder;
+
+    private DispatcherHarness harness;
+
+    @BeforeEach
+    void start() throws IOException {
+        harness = new DispatcherHarness(folder);
+    }
+
+    private static Sender.Standing breakerState(RequestDispatcher dispatcher) {
+        Sender.Standing[] state = new Sender.Standing[1];
+        dispatcher.forEachBreaker((destination, breaker) -> state[0] = breaker.standing());
+        return state[0];
+    }
+
+    /** Trips the breaker by failures in a row, and runs the timers, of which one saves the state. */
+    private void tripBreakerAndSave() {
+        harness.dispatcher.snapshots().restoreAndSave();
+        for (int i = 0; i < FAILURES_TO_TRIP; i++) {
+            harness.submit("m" + i);
+            harness.endLast(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.BROKEN));
+        }
+        assertEquals(Sender.Standing.OPEN, breakerState(harness.dispatcher));
+        List.copyOf(harness.timers).forEach(Runnable::run);
+    }
+
+    /** The next process on the folder, with its cached endpoint list. */
+    private RequestDispatcher nextProcess() throws IOException {
+        RequestDispatcher next = harness.newDispatcher();
+        next.snapshots().restoreAndSave();
+        DispatcherHarness.listEndpoint(next, Sender.ListKind.CACHED);
+        return next;
+    }
+
+    @Test
+    void anOpenBreakerOutlastsTheProcess() throws IOException {
+        tripBreakerAndSave();
+        assertEquals(
+                Sender.Standing.OPEN, breakerState(nextProcess()), "the next process does not begin with attempts");
+    }
+
+    @Test
+    void whatIsTornOldOrOfOtherSettingsIsIgnored() throws IOException {
+        tripBreakerAndSave();
+        Path file = folder.resolve("learned");
+        byte[] saved = Files.readAllBytes(file);
+        byte[] torn = saved.clone();
+        torn[40] ^= 1;
+        byte[] tooLong = new byte[PolicySnapshotStore.MAX_BYTES + 1];
+        for (byte[] bytes : List.of(torn, new byte[0], Arrays.copyOf(saved, 30), tooLong)) {
+            Files.write(file, bytes);
+            assertEquals(Sender.Standing.CLOSED, breakerState(nextProcess()), bytes.length + " bytes");
+        }
+        JournalStore store = new InMemoryJournalStore();
+        new PolicySnapshotStore(store, 7).save(new byte[] {1, 2, 3});
+        assertEquals(3, new PolicySnapshotStore(store, 7).load().orElseThrow().length);
+        assertTrue(new PolicySnapshotStore(store, 8).load().isEmpty());
+        new PolicySnapshotStore(store, 7).save(new byte[PolicySnapshotStore.MAX_BYTES]);
+        assertEquals(
+                3, new PolicySnapshotStore(store, 7).load().orElseThrow().length, "one that is too long is dropped");
+    }
+}
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.compat.CoreProcess;
@@ -38,7 +37,8 @@
     private static List<byte[]> split(byte[] journal) {
         List<byte[]> records = new ArrayList<>();
         for (int at = 0; at < journal.length; at += records.get(records.size() - 1).length) {
-            int length = JournalRecords.HEAD + java.nio.ByteBuffer.wrap(journal).getInt(at);
+            int length = JournalRecordFormat.HEADER_BYTES
+                    + java.nio.ByteBuffer.wrap(journal).getInt(at);
             records.add(java.util.Arrays.copyOfRange(journal, at, at + length));
         }
         return records;
@@ -62,42 +62,42 @@
 
     /** Every type of record, and every kind of end. */
     private void write(Journal journal) {
-        assertTrue(journal.scheme("orders", SCHEME));
+        assertTrue(journal.putKeyScheme("orders", SCHEME));
         ActiveRequest.Message keyed = message("keyed", 1, "orders:7");
-        assertTrue(journal.taken(keyed) && journal.sent("keyed"));
+        assertTrue(journal.accepted(keyed) && journal.attemptBegins("keyed"));
         clock.pass(S);
-        journal.result("keyed", true);
-        assertTrue(journal.sent("keyed") && journal.joined(message("copy", 2, "orders:7")));
+        journal.attemptEnded("keyed", true);
+        assertTrue(journal.attemptBegins("keyed") && journal.acceptedDuplicate(message("copy", 2, "orders:7")));
         ActiveRequest.Message[] more = new ActiveRequest.Message[5];
         for (int i = 0; i < more.length; i++) {
             more[i] = message("m" + i, 3 + i, "");
-            assertTrue(journal.taken(more[i]) && journal.sent("m" + i));
-            journal.result("m" + i, false);
+            assertTrue(journal.accepted(more[i]) && journal.attemptBegins("m" + i));
+            journal.attemptEnded("m" + i, false);
         }
-        journal.ended(more[0], FinalOutcome.DELIVERED, true);
-        journal.ended(more[1], FinalOutcome.refused(1_234), true);
-        journal.ended(more[2], FinalOutcome.FAILED, true);
-        journal.told("m2");
-        journal.ended(more[3], FinalOutcome.OVER, true);
-        assertTrue(journal.detach("a1", true) && journal.detach("b1", true) && journal.detach("b1", false));
+        journal.completed(more[0], FinalOutcome.DELIVERED, true);
+        journal.completed(more[1], FinalOutcome.rejected(1_234), true);
+        journal.completed(more[2], FinalOutcome.FAILED, true);
+        journal.notified("m2");
+        journal.completed(more[3], FinalOutcome.WITHDRAWN, true);
+        assertTrue(journal.setDrained("a1", true) && journal.setDrained("b1", true) && journal.setDrained("b1", false));
     }
 
     /** All that it knows. Names of constants are not of the format, so their numbers stand here. */
     private List<String> known(Journal journal) {
         List<String> known = new ArrayList<>();
-        journal.schemes()
+        journal.keySchemes()
                 .forEach((name, text) -> known.add("scheme " + name + " " + new String(text, StandardCharsets.UTF_8)));
-        journal.detached().forEach(host -> known.add("detached " + host));
+        journal.drainedEndpoints().forEach(host -> known.add("detached " + host));
         journal.unfinished(Set.of())
                 .forEach(s -> known.add("unfinished " + text(s.message) + " attempts " + s.attempts + " ran "
-                        + s.mayHaveRun + " at " + clock.toWall(s.keyUntil)));
-        journal.joined().forEach(m -> known.add("joined " + text(m)));
-        journal.owed()
+                        + s.mayHaveRun + " at " + clock.toWall(s.deduplicatedUntil)));
+        journal.waitingDuplicates().forEach(m -> known.add("joined " + text(m)));
+        journal.owedOutcomes()
                 .forEach((m, a) ->
-                        known.add("owed " + m.id() + " " + m.front() + " " + clock.toWall(m.rememberUntil())));
+                        known.add("owed " + m.id() + " " + m.frontend() + " " + clock.toWall(m.rememberUntil())));
         for (int i = 0; i < 5; i++) {
-            FinalOutcome a = journal.answer("m" + i);
-            known.add("answer m" + i + " " + (a == null ? "none" : a.kind().ordinal() + " " + a.againNs()));
+            FinalOutcome a = journal.outcome("m" + i).orElse(null);
+            known.add("answer m" + i + " " + (a == null ? "none" : a.kind().ordinal() + " " + a.retryAfterNs()));
         }
         return known;
     }
@@ -106,17 +106,17 @@
         return String.join(
                 " ",
                 m.id(),
-                "" + m.front(),
-                "" + m.cls(),
-                "" + m.tenant(),
+                "" + m.frontend(),
+                "" + m.classIndex(),
+                "" + m.tenantIndex(),
                 "" + m.destination(),
                 "" + clock.toWall(m.deadline()),
                 "" + clock.toWall(m.rememberUntil()),
-                "" + m.again(),
-                "" + m.heedsWindow(),
-                m.key(),
+                "" + m.resubmitted(),
+                "" + m.retriesWithinKeyWindow(),
+                m.idempotencyKey(),
                 new String(m.body(), StandardCharsets.UTF_8),
-                m.same());
+                m.deduplicationKey());
     }
 
     private Journal read(String name) throws IOException {
@@ -124,7 +124,7 @@
     }
 
     private static void compact(Journal journal) {
-        journal.letGo();
+        journal.suspend();
         journal.resume();
     }
 
@@ -143,7 +143,7 @@
         write(new Journal(new InMemoryJournalStore(), CAP, clock)); // moves the clock
         Set<Byte> types = new TreeSet<>();
         for (String name : List.of(RECORDS, COMPACTED)) {
-            Recorded.records(name).forEach(r -> types.add(r[JournalRecords.HEAD]));
+            Recorded.records(name).forEach(r -> types.add(r[JournalRecordFormat.HEADER_BYTES]));
             Recorded.assertLines("journal/known.txt", known(read(name)));
             InMemoryJournalStore store = CoreProcess.store(Recorded.bytes(name));
             compact(new Journal(store, CAP, clock));
@@ -156,7 +156,7 @@
     void theFilesHaveTheirNames(@TempDir Path folder) throws IOException {
         new OwnershipLock(folder).take();
         Journal journal = new Journal(folder, CAP, clock);
-        new PolicySnapshotStore(journal.aside("learned"), SHAPE).keep(new byte[1]);
+        new PolicySnapshotStore(journal.aside("learned"), SHAPE).save(new byte[1]);
         journal.close();
         try (java.util.stream.Stream<Path> files = Files.list(folder)) {
             assertEquals(
@@ -179,7 +179,7 @@
         Recorded.assertBytes(VALUES, out.bytes());
         clock.pass(3 * S);
         PolicySnapshotCodec.Reader in = new PolicySnapshotCodec.Reader(Recorded.bytes(VALUES), clock, true);
-        assertEquals(3 * S, in.agoNs);
+        assertEquals(3 * S, in.ageNs);
         assertEquals(-7, in.whole(0));
         assertEquals(0.1, in.real(0));
         assertEquals(clock.now() - 3 * S + 5, in.time(0));
@@ -194,17 +194,20 @@
     void whatWasLearnedOutlastsAnUpgradeOfTheProgram() throws IOException {
         OlderProcess.recordIfWanted();
         byte[] file = Recorded.bytes(OlderProcess.LEARNED);
-        byte[] kept = new PolicySnapshotStore(CoreProcess.store(file), SHAPE).kept();
-        assertNull(new PolicySnapshotStore(CoreProcess.store(file), SHAPE + 1).kept());
+        byte[] kept =
+                new PolicySnapshotStore(CoreProcess.store(file), SHAPE).load().orElseThrow();
+        assertTrue(new PolicySnapshotStore(CoreProcess.store(file), SHAPE + 1)
+                .load()
+                .isEmpty());
         InMemoryJournalStore again = new InMemoryJournalStore();
-        new PolicySnapshotStore(again, SHAPE).keep(kept);
+        new PolicySnapshotStore(again, SHAPE).save(kept);
         assertArrayEquals(file, CoreProcess.bytes(again));
 
         InMemoryJournalStore store = new InMemoryJournalStore();
         store.aside("learned").write(file, 0);
         long keptAt = java.nio.ByteBuffer.wrap(kept).getLong();
         CoreProcess next = new CoreProcess(store, new ManualClock(keptAt + 2 * S));
-        next.relay.handover().remember();
+        next.relay.snapshots().restoreAndSave();
         next.pass(S); // it keeps what it has learned, which is that
         Recorded.assertBytes(AFTER_RESTART, CoreProcess.bytes(store.aside("learned")));
     }
--- a/src/test/java/elderseam/figures/StartupMeasurements.java
+++ b/src/test/java/elderseam/figures/StartupMeasurements.java
@@ -182,9 +182,9 @@
                 long by = clock.now() + (i % 4 == 0 ? -500 + i : 15_000) * Clock.MS;
                 ActiveRequest.Message m = new ActiveRequest.Message(
                         "m" + i, (byte) 0, i % 2 * 2, 0, 1 + i % 8, by, by, false, true, "k" + i, new byte[300]);
-                journal.taken(m);
+                journal.accepted(m);
                 if (i % 4 == 1) {
-                    journal.sent(m.id());
+                    journal.attemptBegins(m.id());
                 }
             }
         }
--- a/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.http.HttpResult;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +13,7 @@
 
 /** What an answer of an upstream host means. */
 class ResponseClassificationTest {
-    private static End end(int code, String header, String value) {
+    private static AttemptOutcome end(int code, String header, String value) {
         return PlatformAttemptSender.meaning(
                 new HttpResult(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
     }
@@ -38,7 +38,7 @@
     /** A report is read by its fields' names; nonsense in it counts as untold. */
     @Test
     void reports() {
-        End told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
+        AttemptOutcome told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
         assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
         for (String nonsense : List.of(
                 "TEXT x1=many, x0",
@@ -47,7 +47,7 @@
                 "TEXT x0=NaN, x1=-3",
                 "TEXT x0=7, x1=25",
                 "\u0000\u00ff=,=,")) {
-            End odd = end(200, "X-Pressure", nonsense);
+            AttemptOutcome odd = end(200, "X-Pressure", nonsense);
             assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
         }
         assertTrue(end(429, "X-RateLimit-Wait-Ms", "1e300").waitNs() > 0, "an endless wait must not run over");
--- a/src/test/java/elderseam/handover/HandoverChannelTest.java
+++ b/src/test/java/elderseam/handover/HandoverChannelTest.java
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.EndpointCall.End;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Handover;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -32,11 +32,11 @@
 
 /** The link between two processes, and what travels on it. */
 class HandoverChannelTest {
-    private static final Handover.Passed PASSED =
-            new Handover.Passed("m", 2, "h", true, new End(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
+    private static final Handover.ForwardedOutcome PASSED = new Handover.ForwardedOutcome(
+            "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
     private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
             "{\"name\":\"Österreich\"}",
-            new Handover.Estate(new byte[] {1, 2, 3}, List.of(new Handover.Out("a", 1, "h", 5))),
+            new Handover.State(new byte[] {1, 2, 3}, List.of(new Handover.InFlightAttempt("a", 1, "h", 5))),
             true);
 
     @TempDir
@@ -63,8 +63,8 @@
         }
         HandoverFrame.Give back = (HandoverFrame.Give) read(bytes(GIVE));
         assertEquals(GIVE.list(), back.list());
-        assertEquals(GIVE.estate().out(), back.estate().out());
-        assertArrayEquals(GIVE.estate().learned(), back.estate().learned());
+        assertEquals(GIVE.estate().inFlight(), back.estate().inFlight());
+        assertArrayEquals(GIVE.estate().policySnapshot(), back.estate().policySnapshot());
         assertTrue(back.drains());
     }
 
--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -2,9 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
--- a/src/test/java/elderseam/rules/RuleEngineTest.java
+++ b/src/test/java/elderseam/rules/RuleEngineTest.java
@@ -111,7 +111,7 @@
         assertEquals(5 * S, decided("1", 0).deadline(), "the shortest of both");
         assertEquals(12 * S, decided("22", 0).deadline());
         assertEquals(10 * S, decided("333", 0).deadline());
-        assertEquals(2, decided("333", 0).cls());
+        assertEquals(2, decided("333", 0).classIndex());
     }
 
     /** All that matches in a table, each with what the tables before made; rules of one table don't see each other. */
@@ -177,14 +177,14 @@
         Rulebook first = book("[rule a]\nkey = string(body.n)\n");
         decider.put(first);
         ActiveRequest.Message m = decided("{\"n\": 1}", 0);
-        assertTrue(m.same().startsWith(first.scheme().name() + ":") && !m.heedsWindow());
+        assertTrue(m.deduplicationKey().startsWith(first.scheme().name() + ":") && !m.retriesWithinKeyWindow());
         assertEquals(3_600 * S, m.rememberUntil());
-        assertEquals(m.same(), decided("{\"x\": 2, \"n\": 1}", 5).same());
-        assertNotEquals(m.same(), decided("{\"n\": 2}", 5).same());
+        assertEquals(m.deduplicationKey(), decided("{\"x\": 2, \"n\": 1}", 5).deduplicationKey());
+        assertNotEquals(m.deduplicationKey(), decided("{\"n\": 2}", 5).deduplicationKey());
         decider.put(book("[rule a]\nwhen = true\nkey = string(body.n)\n"));
         RuleEngine.Decided d = decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0);
-        assertEquals(List.of(m.same()), d.also());
-        assertNotEquals(m.same(), d.message().same());
+        assertEquals(List.of(m.deduplicationKey()), d.also());
+        assertNotEquals(m.deduplicationKey(), d.message().deduplicationKey());
         decider.put(null);
         assertEquals(2, decider.remembered());
         assertEquals(
@@ -194,7 +194,7 @@
                         .size());
         decider.forget(Set.of(first.scheme().name()));
         assertEquals(
-                List.of(m.same()),
+                List.of(m.deduplicationKey()),
                 decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0)
                         .also());
         decider.put(first);
--- a/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
+++ b/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
@@ -110,7 +110,7 @@
             try (Journal journal = new Journal(s.state(), 3_000_000, clock)) {
                 long by = clock.now() + 60_000 * Clock.MS;
                 while (taken < most - most / 16 - 1
-                        && journal.taken(new ActiveRequest.Message(
+                        && journal.accepted(new ActiveRequest.Message(
                                 "m" + taken,
                                 (byte) 0,
                                 taken % 3,
--- a/src/test/java/elderseam/scenario/HandoverScenarioTest.java
+++ b/src/test/java/elderseam/scenario/HandoverScenarioTest.java
@@ -129,7 +129,7 @@
                     """.replace("{to}", TO));
             HandoverChannel link = s.asking();
             assertTrue(link.await() instanceof HandoverFrame.Give g
-                    && g.estate().out().size() == 1);
+                    && g.estate().inFlight().size() == 1);
             s.run("""
                     h1 send 200
                     c send POST /status-update; {to} X-Txn: say
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -112,16 +112,17 @@
                 long by = clock.now() + (due ? -1_000 + i : 20_000) * Clock.MS;
                 ActiveRequest.Message m = new ActiveRequest.Message(
                         id, (byte) 0, i % 3, 0, 1, by, by, false, true, "k" + i, new byte[200]);
-                assertTrue(journal.taken(m));
+                assertTrue(journal.accepted(m));
                 if (i % 5 == 1) {
-                    journal.ended(m, i % 4 == 1 ? FinalOutcome.FAILED : FinalOutcome.refused(500 * Clock.MS), true);
+                    journal.completed(
+                            m, i % 4 == 1 ? FinalOutcome.FAILED : FinalOutcome.rejected(500 * Clock.MS), true);
                     owed.add(id);
                     continue;
                 }
                 if (i % 5 > 1) {
-                    journal.sent(id);
+                    journal.attemptBegins(id);
                     if (i % 5 > 2) {
-                        journal.result(id, i % 5 == 3);
+                        journal.attemptEnded(id, i % 5 == 3);
                     }
                 }
                 if (due || i % 3 == 2 && i % 5 > 1 && i % 5 < 4) {
--- a/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
+++ b/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.EndpointCall.Progress;
-import elderseam.core.EndpointCall.Status;
+import elderseam.core.AttemptOutcome.Progress;
+import elderseam.core.AttemptOutcome.Status;
 import elderseam.settings.SettingsFault;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
+++ b/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
@@ -5,7 +5,7 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
-import elderseam.core.EndpointCall;
+import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 import elderseam.policy.Sender;
 import elderseam.testkit.emulator.RuleCheckers.Rule;
@@ -55,7 +55,7 @@
             if (waits
                     || !endpoints.containsKey(m.destination())
                     || out >= place.plan().fleet().slots() && fault != Rule.ABOVE_SLOTS) {
-                return FinalOutcome.refused(1);
+                return FinalOutcome.rejected(1);
             }
             send(m, 0, m.deadline() - 100_000_000);
             return null;
@@ -65,12 +65,12 @@
             out++;
             place.send(m, endpoints.get(m.destination()), by, by, new AttemptListener() {
                 @Override
-                public boolean mayLeave() {
+                public boolean maySend() {
                     return true;
                 }
 
                 @Override
-                public void ended(EndpointCall.End end) {
+                public void ended(AttemptOutcome end) {
                     out--;
                     if (end.waitNs() > 0) {
                         waits.put(m.destination(), place.time().now() + end.waitNs());
@@ -79,27 +79,27 @@
                 }
 
                 @Override
-                public void answeredLate(EndpointCall.End end) {}
+                public void answeredLate(AttemptOutcome end) {}
             });
             if (fault == Rule.TWO_OUT && attempt == 0 && m.id().equals("m100")) {
                 place.send(m, endpoints.get(m.destination()), by, by, new AttemptListener() {
                     @Override
-                    public boolean mayLeave() {
+                    public boolean maySend() {
                         return true;
                     }
 
                     @Override
-                    public void ended(EndpointCall.End end) {}
+                    public void ended(AttemptOutcome end) {}
 
                     @Override
-                    public void answeredLate(EndpointCall.End end) {}
+                    public void answeredLate(AttemptOutcome end) {}
                 });
             }
         }
 
-        private void ended(ActiveRequest.Message m, int attempt, EndpointCall.End end) {
-            boolean delivered = end.status() == EndpointCall.Status.DELIVERED;
-            if (fault == Rule.EFFECT_TWICE && attempt == 0 && m.cls() == 2) {
+        private void ended(ActiveRequest.Message m, int attempt, AttemptOutcome end) {
+            boolean delivered = end.status() == AttemptOutcome.Status.DELIVERED;
+            if (fault == Rule.EFFECT_TWICE && attempt == 0 && m.classIndex() == 2) {
                 place.at(place.time().now() + 1, () -> send(m, 1, m.deadline() - 100_000_000));
                 return;
             }
@@ -108,7 +108,7 @@
             }
             FinalOutcome answer = delivered
                     ? FinalOutcome.DELIVERED
-                    : end.mayHaveRun() ? FinalOutcome.FAILED : FinalOutcome.refused(1);
+                    : end.mayHaveRun() ? FinalOutcome.FAILED : FinalOutcome.rejected(1);
             if (fault == Rule.LATE && m.id().equals("m100")) {
                 place.at(m.deadline() + 1_000_000_000L, () -> place.ended(m, answer));
                 return;
