--- a/src/test/java/elderseam/module/AdviceTest.java
+++ b/src/test/java/elderseam/module/AdviceTest.java
@@ -26,7 +26,7 @@
 
     /** However loud: without an own failure nothing opens, nothing is called, and no timer is set. */
     @Test
-    void aWordAloneDoesNothing() {
+    void suspicionAloneDoesNothing() {
         int traced = harness.trace.size(), timers = harness.timersSet;
         harness.policy.advised(harness.now, 1, 1, 1_000);
         harness.policy.advised(harness.now, 77, 1, 1_000);
@@ -36,11 +36,11 @@
         assertEquals(timers, harness.timersSet);
     }
 
-    /** Own failures in a row that trip: four, down to two at full doubt, never one. */
+    /** Own failures in a row that trip: four, down to two at full suspicion, never one. */
     @ParameterizedTest
     @CsvSource({"0,4", "0.2,4", "0.3,3", "0.7,3", "1,2"})
-    void fewerOwnFailuresTrip(double doubt, int failures) {
-        harness.policy.advised(harness.now, 1, doubt, 1);
+    void suspicionLowersTheFailuresThatTrip(double suspicion, int failures) {
+        harness.policy.advised(harness.now, 1, suspicion, 1);
         int n = 0;
         while (breaker().standing() == Sender.Standing.CLOSED && n < 10) {
             fail();
@@ -51,7 +51,7 @@
 
     /** A word that ends is forgotten whole; one that comes while a breaker sleeps neither wakes nor closes it. */
     @Test
-    void aWordThatEndsLeavesNothing() {
+    void endedAdviceLeavesNothing() {
         harness.policy.advised(harness.now, 1, 1, 1);
         harness.policy.advised(harness.now, 1, 0, 0);
         fail();
@@ -66,7 +66,7 @@
 
     /** Who looks at the breakers changes nothing, however often. */
     @Test
-    void lookingMovesNothing() {
+    void viewsChangeNothing() {
         fail();
         Sender.Breaker first = breaker();
         for (int i = 0; i < 100; i++) {
--- a/src/test/java/elderseam/module/BreakerTest.java
+++ b/src/test/java/elderseam/module/BreakerTest.java
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void aRunOfFailuresTripsBelowTheFloorAndParks() {
+    void consecutiveFailuresTripBelowTheMinimumOfCalls() {
         warm();
         trip();
         String parked = harness.submit(0, -1, 1);
@@ -98,7 +98,7 @@
     }
 
     @Test
-    void oneTrialAfterTheSleepClosesOnSuccess() {
+    void oneTrialAfterTheSleepWindowClosesOnSuccess() {
         warm();
         trip();
         for (int i = 0; i < 5; i++) {
@@ -116,7 +116,7 @@
     }
 
     @Test
-    void aFailedTrialSleepsAgain() {
+    void aFailedTrialOpensAgain() {
         warm();
         trip();
         String id = harness.submit(0, -1, 1);
@@ -131,7 +131,7 @@
     }
 
     @Test
-    void theTrialIsASafeMessageWhereOneWaits() {
+    void theTrialIsASafeRequestWhereOneWaits() {
         warm();
         trip();
         harness.submit(2, 1, 1);
@@ -154,7 +154,7 @@
 
     /** i2bf2c3: a lost answer must neither hold its ticket to the deadline nor trip a live destination. */
     @Test
-    void aLostAnswerIsCutWhileOthersAreAnswered() {
+    void anAttemptIsCancelledWhenItsAnswerIsLost() {
         warm();
         String lost = harness.submit(0, -1, 1);
         for (int i = 0; i < 20; i++) {
@@ -169,7 +169,7 @@
     }
 
     @Test
-    void aToldWaitIsKeptToTheVeryInstant() {
+    void aRetryAfterIsKeptExactly() {
         warm();
         String id = harness.submit(0, -1, 1);
         harness.answer(harness.only(id), Result.FULL, 700 * MS);
@@ -213,7 +213,7 @@
 
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
-    void aCallWithMoreMessagesGoesFirst() {
+    void aLargerBatchGoesFirst() {
         PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(1, new Sender.Kind(false, 5), false), 1);
         r.list(
                 Sender.ListKind.CACHED,
@@ -230,7 +230,7 @@
 
     /** The parked backlog never bursts: sends after an outage stay under the multiple of the cold share. */
     @Test
-    void theBacklogIsReleasedUnderTheFallMultiple() {
+    void theBacklogIsReleasedBelowTheOverloadMultiple() {
         warm();
         trip();
         for (int i = 0; i < 60; i++) {
@@ -265,7 +265,7 @@
         assertEquals(0, r.timers.size());
     }
 
-    /** While messages park, the timer is set for the end of the sleep and their deadlines: no poll. */
+    /** While requests wait, the timer is set for the end of the sleep and their deadlines: no poll. */
     @Test
     void aSleepingBreakerIsNotPolled() {
         warm();
@@ -313,7 +313,7 @@
 
     /** Later days: hundreds of senders knew of an outage and came back at once; their sum must stay small. */
     @Test
-    void manySendersTogetherStayUnderWhatAReturningDestinationStands() {
+    void manySendersStayUnderWhatAReturningDestinationWithstands() {
         for (Result fault : List.of(Result.FULL, Result.CONNECT_FAILED)) {
             int early = 0;
             int late = 0;
@@ -337,7 +337,7 @@
 
     /** Later Kingston: one endpoint fails one class; the others go on there and the breaker stays closed. */
     @Test
-    void anEndpointThatFailsOneClassIsLeftOutForThatClassOnly() {
+    void anEndpointIsEjectedOnlyForTheClassThatFails() {
         PolicyTestHarness r =
                 new PolicyTestHarness(PolicyTestHarness.settings(12, new Sender.Kind(false, 1), false), 5);
         r.list(
@@ -368,7 +368,7 @@
 
     /** Overload day: couriers that knew sent a partly failing route twice its rate, and on to its return. */
     @Test
-    void aMostlyFailingSharedDestinationCountsAsColdBelowTheFloor() {
+    void aMostlyFailingSharedDestinationCountsAsCold() {
         PolicyTestHarness r = shared(40, 3);
         int sent = 0;
         for (int step = 0; step < 400; step++) { // 20 s: two of three calls fail, never four in a row
@@ -386,7 +386,7 @@
 
     /** Incident i527d1f: 214 of 411 couriers called a refusing route twice each, the second a second later. */
     @Test
-    void theFirstPauseIsLongAfterAFailedConnectionAndShortAfterARefusal() {
+    void theFirstBackOffIsLongAfterAFailedConnectionAndShortAfterFull() {
         PolicyTestHarness down = shared(200, 3);
         PolicyTestHarness full = shared(200, 3);
         down.pass(S);
@@ -400,7 +400,7 @@
 
     /** Hunted day hae3b2f: couriers that had seen refusals only called on, second after second, to the return. */
     @Test
-    void aSecondRefusalWithoutADeliveryPausesForLong() {
+    void aSecondFullWithoutADeliveryBacksOffLonger() {
         for (long seed = 1; seed <= 20; seed++) {
             PolicyTestHarness r = shared(200, seed);
             r.pass(S);
@@ -415,7 +415,7 @@
 
     /** Hunted day h91a4c8: a shut destination told 278 couriers the same end, and all came in that second. */
     @Test
-    void manyDoNotComeTogetherAtTheEndOfALongToldWait() {
+    void manySendersDoNotReturnTogetherAfterALongRetryAfter() {
         int atOnce = 0;
         for (long seed = 1; seed <= 40; seed++) {
             PolicyTestHarness r = shared(200, seed);
--- a/src/test/java/elderseam/module/ChurnTest.java
+++ b/src/test/java/elderseam/module/ChurnTest.java
@@ -20,7 +20,7 @@
         for (int i = 0; i < 100; i++) {
             harness.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.READY));
             harness.answer(harness.submit(2, i, 100 + i), Result.DELIVERED);
-            harness.answer(harness.submit(2, 1_000 + i, 100 + i), Result.RESET); // its lane rests for a while
+            harness.answer(harness.submit(2, 1_000 + i, 100 + i), Result.RESET); // its ordering key rests for a while
             harness.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.GONE));
             harness.pass(S);
         }
@@ -28,7 +28,7 @@
         assertTrue(
                 harness.policy.directory.destinations.size() < 40,
                 harness.policy.directory.destinations.size() + " destinations");
-        assertTrue(harness.policy.requests.keyQueues.size() < 3, harness.policy.requests.keyQueues.size() + " lanes");
+        assertTrue(harness.policy.requests.keyQueues.size() < 3, harness.policy.requests.keyQueues.size() + " ordering keys");
         assertTrue(harness.policy.directory.empty.size() < 40 && harness.policy.requests.resting.size() < 3);
     }
 
--- a/src/test/java/elderseam/module/ConnectionsTest.java
+++ b/src/test/java/elderseam/module/ConnectionsTest.java
@@ -138,7 +138,7 @@
     }
 
     @Test
-    void aDearRouteIsTakenOnlyWhileTheCheapOneRests() {
+    void anExpensiveRouteIsUsedOnlyWhileTheCheapOneIsEjected() {
         Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(true, 1), false);
         PolicyTestHarness r = new PolicyTestHarness(
                 new Sender.Settings(
@@ -174,6 +174,6 @@
         assertEquals("cheap:1", r.only(first).endpoint());
         r.answer(first, Result.ERROR);
         r.pass(S / 2);
-        assertEquals("dear:1", r.only(first).endpoint(), "a sick cheap route loses to a dear one");
+        assertEquals("dear:1", r.only(first).endpoint(), "a failing cheap route loses to a dear one");
     }
 }
--- a/src/test/java/elderseam/module/LimitTest.java
+++ b/src/test/java/elderseam/module/LimitTest.java
@@ -61,7 +61,7 @@
 
     /** Calls whose answers nobody could have read are not hung; those silent since are. */
     @Test
-    void timeInWhichNobodyLookedIsNoSilence() {
+    void unseenTimeIsNoSilence() {
         PolicyTestHarness blind = PolicyTestHarness.simple(40);
         for (PolicyTestHarness r : List.of(harness, blind)) {
             r.submit(0, -1, 1);
--- a/src/test/java/elderseam/module/PolicyTestHarness.java
+++ b/src/test/java/elderseam/module/PolicyTestHarness.java
@@ -51,7 +51,7 @@
     final Map<String, Sender.Endpoint> listed = new HashMap<>();
     final Map<String, Long> leftAt = new HashMap<>();
     final Map<String, Long> waits = new HashMap<>();
-    final Map<Long, List<Sent>> lanes = new HashMap<>();
+    final Map<Long, List<Sent>> orderedRequests = new HashMap<>();
     final Map<Long, Long> rests = new HashMap<>();
     final TreeMap<Long, List<Long>> timers = new TreeMap<>();
     final List<String> trace = new ArrayList<>();
@@ -141,7 +141,7 @@
         messages.put(id, sent);
         active.put(id, sent);
         if (c.ordered() && key >= 0) {
-            lanes.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
+            orderedRequests.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
         }
         policy.message(now, m);
         return id;
@@ -263,7 +263,7 @@
         assertEquals(s.msg.destination(), e.destination(), "endpoint of another destination");
         assertTrue(s.attempts < settings.maxAttempts(), "too many attempts");
         assertTrue(now <= leftAt.getOrDefault(endpoint, Long.MAX_VALUE / 2) + settings.drainGraceNs(), "drained");
-        assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "told wait not heeded");
+        assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "Retry-After not heeded");
         assertTrue(settings.secondCopies() || s.out.isEmpty(), "second copy");
         if (s.maybeRan && s.cls.effect() != Effect.SAFE) {
             assertEquals(Effect.KEYED, s.cls.effect(), "unsafe message sent again");
@@ -271,7 +271,7 @@
             assertTrue(!s.cls.keyPerZone() || e.zone() == s.zone, "other zone");
         }
         if (s.cls.ordered() && s.msg.orderKey() >= 0) {
-            for (Sent earlier : lanes.get(s.msg.orderKey())) {
+            for (Sent earlier : orderedRequests.get(s.msg.orderKey())) {
                 if (earlier == s) {
                     break;
                 }
--- a/src/test/java/elderseam/module/PropertyTest.java
+++ b/src/test/java/elderseam/module/PropertyTest.java
@@ -29,7 +29,7 @@
                     PolicyTestHarness.endpoint("b:" + d, d, 1, Listing.READY));
         }
         for (int step = 0; step < 600; step++) {
-            int sick = step / 100 % (dests + 2);
+            int failing = step / 100 % (dests + 2);
             if (random.nextInt(3) == 0) {
                 harness.patience = random.nextInt(4) == 0 ? 0.02 + 0.5 * random.nextDouble() : 1;
                 harness.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(dests));
@@ -44,7 +44,7 @@
             }
             for (PolicyTestHarness.Attempt a : harness.out()) {
                 int roll = random.nextInt(100);
-                boolean ill = harness.messages.get(a.id()).msg.destination() == sick;
+                boolean ill = harness.messages.get(a.id()).msg.destination() == failing;
                 if (roll < 25 && !ill) {
                     harness.answer(a, Result.DELIVERED, 0);
                 } else if (roll < (ill ? 30 : 28)) {
@@ -147,10 +147,10 @@
                     r.submit(random.nextInt(3), random.nextInt(4) - 1, 1 + random.nextInt(2));
                 }
                 for (PolicyTestHarness.Attempt a : r.out()) {
-                    boolean sick = a.endpoint().equals("a:1");
-                    onReturn += sick && step >= 300 && step < 340 ? 1 : 0;
-                    boolean full = sick && !down && step > 300 && room-- <= 0;
-                    r.answer(a, sick && down ? Result.CONNECT_FAILED : full ? Result.FULL : Result.DELIVERED, 0);
+                    boolean failing = a.endpoint().equals("a:1");
+                    onReturn += failing && step >= 300 && step < 340 ? 1 : 0;
+                    boolean full = failing && !down && step > 300 && room-- <= 0;
+                    r.answer(a, failing && down ? Result.CONNECT_FAILED : full ? Result.FULL : Result.DELIVERED, 0);
                 }
                 r.policy.turnEnd(r.now);
                 r.pass(50 * MS);
--- a/src/test/java/elderseam/module/RetryBudgetTest.java
+++ b/src/test/java/elderseam/module/RetryBudgetTest.java
@@ -6,23 +6,23 @@
 
 import org.junit.jupiter.api.Test;
 
-/** The bound on further tries: the same share for each, so the sum of all keeps to it. */
+/** The bound on retries: the same ratio for each, so the sum of all keeps to it. */
 class RetryBudgetTest {
     private static final long S = 1_000_000_000L;
 
     @Test
-    void furtherTriesKeepToTheirShareOfFirstOnes() {
+    void retriesKeepToTheirRatioOfFirstAttempts() {
         RetryBudget b = new RetryBudget();
         int again = 0;
         for (int i = 0; i < 1_000; i++) {
             b.onFirstAttempt(i * S / 10, 0.2, 0);
             again += b.takeRetry(i * S / 10, 0.2, 0) ? 1 : 0;
         }
-        assertTrue(again >= 195 && again <= 206, again + " further tries of 1000 first ones");
+        assertTrue(again >= 195 && again <= 206, again + " retries of 1000 first attempts");
     }
 
     @Test
-    void aFewMayAlwaysGoAgainAndNotMoreForWaiting() {
+    void aFewRetriesAreAlwaysAllowedAndSavingIsLimited() {
         RetryBudget b = new RetryBudget();
         assertTrue(b.takeRetry(0, 0.1, 0.5));
         assertFalse(b.takeRetry(0, 0.1, 0.5));
@@ -31,6 +31,6 @@
         while (b.takeRetry(10_000 * S, 0.1, 0.5)) {
             saved++;
         }
-        assertEquals(7, saved, "ten seconds of the rate and twenty first tries' share");
+        assertEquals(7, saved, "ten seconds of the rate and the ratio of twenty first attempts");
     }
 }
--- a/src/test/java/elderseam/module/RulesTest.java
+++ b/src/test/java/elderseam/module/RulesTest.java
@@ -14,7 +14,7 @@
 
 class RulesTest {
     @Test
-    void anUnsafeMessageGoesAgainOnlyWhenItNeverRan() {
+    void anUnsafeRequestIsRetriedOnlyWhenItNeverRan() {
         for (Result result : Result.values()) {
             if (result == Result.DELIVERED) {
                 continue;
@@ -32,7 +32,7 @@
     }
 
     @Test
-    void aKeyedMessageGoesAgainWithinItsWindowOnly() {
+    void aKeyedRequestIsRetriedOnlyWithinItsWindow() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String id = harness.submit(1, -1, 1);
         harness.answer(id, Result.ERROR);
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void messagesOfAKeyGoInOrderAndRestAfterADoubtfulEnd() {
+    void requestsOfAKeyGoInOrderAndRestAfterAnUncertainEnd() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String first = harness.submit(2, 5, 1);
         String second = harness.submit(2, 5, 1);
@@ -96,7 +96,7 @@
     }
 
     @Test
-    void aMessageThatCannotMakeItIsRefusedBeforeItsDeadline() {
+    void aRequestThatCannotBeDeliveredInTimeIsRejectedEarly() {
         PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
         String id = harness.submit(0, -1, 1);
         harness.pass(20 * S);
@@ -104,7 +104,7 @@
     }
 
     @Test
-    void theStoreKeepsRoom() {
+    void loadSheddingKeepsRoom() {
         PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
         for (int i = 0; i < 400; i++) {
             harness.submit(i % 2, -1, 1);
@@ -219,7 +219,7 @@
 
     /** Whatever ends a message ends it in that very turn, and says when to come back where it may. */
     @Test
-    void aMessageGivenUpOnIsAnsweredAtOnce() {
+    void aRequestThatIsGivenUpIsAnsweredAtOnce() {
         PolicyTestHarness spent = PolicyTestHarness.simple(8);
         String id = spent.submit(0, -1, 1);
         while (spent.messages.get(id).attempts < spent.settings.maxAttempts()) {
@@ -230,14 +230,14 @@
         }
         spent.answer(id, Result.NOT_SENT);
         assertEquals("refused", spent.end(id), "attempts spent");
-        assertComeBack(spent, id);
+        assertRetryAfter(spent, id);
 
         PolicyTestHarness late = PolicyTestHarness.simple(8);
         late.patience = 0.001;
         id = late.submit(0, -1, 1);
         assertEquals("refused", late.end(id), "too little time");
         assertEquals(late.now, late.messages.get(id).endedAt);
-        assertComeBack(late, id);
+        assertRetryAfter(late, id);
 
         PolicyTestHarness ran = PolicyTestHarness.simple(8);
         id = ran.submit(2, -1, 1);
@@ -254,10 +254,10 @@
                 .orElseThrow()
                 .getKey();
         assertEquals("refused", store.end(refused), "store full");
-        assertComeBack(store, refused);
+        assertRetryAfter(store, refused);
     }
 
-    private static void assertComeBack(PolicyTestHarness harness, String id) {
+    private static void assertRetryAfter(PolicyTestHarness harness, String id) {
         String line = harness.trace.stream()
                 .filter(l -> l.contains("refuse " + id))
                 .findFirst()
--- a/src/test/java/elderseam/module/ShedTest.java
+++ b/src/test/java/elderseam/module/ShedTest.java
@@ -10,9 +10,9 @@
 
 /** Who gives way where no more can be held. */
 class ShedTest {
-    /** What was taken on is kept: whoever comes now is told so at the door, and may go to another dispatcher at once. */
+    /** Accepted requests are kept: a new one is rejected and may go to another dispatcher at once. */
     @Test
-    void aNewcomerIsTurnedAwayBeforeWhatWasTakenOn() {
+    void aNewRequestIsRejectedBeforeAcceptedOnes() {
         PolicyTestHarness r = PolicyTestHarness.simple(1); // one call at a time: the rest waits
         List<String> taken = new ArrayList<>();
         String last = r.submit(0, -1, 1);
@@ -22,12 +22,12 @@
             last = r.submit(0, -1, 1);
         }
         assertTrue(r.end(last).startsWith("refuse"), r.end(last));
-        taken.forEach(id -> assertNull(r.end(id), "it was taken on"));
+        taken.forEach(id -> assertNull(r.end(id), "it was accepted"));
     }
 
-    /** One that another destination takes at once is not turned away for those that wait elsewhere. */
+    /** One that another destination takes at once is not rejected for those that wait elsewhere. */
     @Test
-    void theFullestGivesWayToOneThatNeedNotWait() {
+    void theFullestDestinationGivesWayToOneThatNeedNotWait() {
         PolicyTestHarness r = PolicyTestHarness.simple(4);
         r.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Sender.Listing.READY));
         List<String> taken = new ArrayList<>();
--- a/src/test/java/elderseam/module/SuccessionTest.java
+++ b/src/test/java/elderseam/module/SuccessionTest.java
@@ -46,34 +46,34 @@
         }
     }
 
-    /** A sender that was told all that the other knows. */
-    private static PolicyTestHarness heir(PolicyTestHarness of) {
+    /** A sender that has taken over the snapshot of another. */
+    private static PolicyTestHarness successor(PolicyTestHarness of) {
         Copy copy = new Copy();
         of.policy.carry(of.now, copy);
         copy.reads = true;
-        PolicyTestHarness heir = new PolicyTestHarness(of.settings, 8);
-        heir.now = of.now;
-        heir.listed.putAll(of.listed);
-        heir.waits.putAll(of.waits);
-        heir.policy.carry(of.now, copy);
+        PolicyTestHarness successor = new PolicyTestHarness(of.settings, 8);
+        successor.now = of.now;
+        successor.listed.putAll(of.listed);
+        successor.waits.putAll(of.waits);
+        successor.policy.carry(of.now, copy);
         assertTrue(copy.values.isEmpty(), "all that was written is read");
-        return heir;
+        return successor;
     }
 
     @Test
-    void aToldWaitAndAnOpenBreakerGoAlong() {
+    void aRetryAfterAndAnOpenBreakerAreTakenOver() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String id = harness.submit(0, -1, 1);
         harness.answer(harness.only(id), Result.FULL, 5 * PolicyTestHarness.S);
         harness.policy.turnEnd(harness.now);
-        PolicyTestHarness heir = heir(harness);
-        assertEquals(new Sender.Listed(1, 1), heir.policy.listed(heir.now));
-        assertFalse(heir.policy.mayCall(heir.now, "none", "a:1"));
-        String next = heir.submit(0, -1, 1); // the harness asserts that the wait is heeded
-        heir.pass(4 * PolicyTestHarness.S);
-        assertFalse(heir.sent(next));
-        heir.pass(8 * PolicyTestHarness.S);
-        assertTrue(heir.sent(next));
+        PolicyTestHarness successor = successor(harness);
+        assertEquals(new Sender.Listed(1, 1), successor.policy.listed(successor.now));
+        assertFalse(successor.policy.mayCall(successor.now, "none", "a:1"));
+        String next = successor.submit(0, -1, 1); // the harness asserts that the wait is heeded
+        successor.pass(4 * PolicyTestHarness.S);
+        assertFalse(successor.sent(next));
+        successor.pass(8 * PolicyTestHarness.S);
+        assertTrue(successor.sent(next));
     }
 
     @Test
@@ -82,43 +82,43 @@
         for (int i = 0; i < 4; i++) {
             harness.answer(harness.submit(2, i, 1), Result.ERROR); // unsafe ones: each fails at once
         }
-        PolicyTestHarness heir = heir(harness);
-        String id = heir.submit(0, -1, 1);
-        heir.pass(PolicyTestHarness.S);
-        assertFalse(heir.sent(id), "it sleeps");
-        heir.pass(4 * PolicyTestHarness.S);
-        assertTrue(heir.sent(id), "one trial");
+        PolicyTestHarness successor = successor(harness);
+        String id = successor.submit(0, -1, 1);
+        successor.pass(PolicyTestHarness.S);
+        assertFalse(successor.sent(id), "it sleeps");
+        successor.pass(4 * PolicyTestHarness.S);
+        assertTrue(successor.sent(id), "one trial");
     }
 
     /** The older process's call holds ticket and slot here, and is not made again; its end counts as any other. */
     @Test
-    void aCallThatIsOutIsNotMadeAgain() {
+    void anAttemptInFlightIsNotRepeated() {
         PolicyTestHarness harness = PolicyTestHarness.simple(1);
         String id = harness.submit(2, -1, 1);
         PolicyTestHarness.Attempt out = harness.only(id);
-        PolicyTestHarness heir = heir(harness);
+        PolicyTestHarness successor = successor(harness);
         PolicyTestHarness.Sent sent = harness.messages.get(id);
-        heir.messages.put(id, sent);
-        heir.active.put(id, sent);
-        heir.policy.restored(heir.now, sent.msg, 1, false, 0);
-        heir.policy.adopted(heir.now, id, out.endpoint(), out.start());
-        heir.policy.turnEnd(heir.now);
-        Sender.Message second = new Sender.Message("second", 0, 0, -1, heir.now + 20 * PolicyTestHarness.S, 1, false);
+        successor.messages.put(id, sent);
+        successor.active.put(id, sent);
+        successor.policy.restored(successor.now, sent.msg, 1, false, 0);
+        successor.policy.adopted(successor.now, id, out.endpoint(), out.start());
+        successor.policy.turnEnd(successor.now);
+        Sender.Message second = new Sender.Message("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
         PolicyTestHarness.Sent waits =
-                new PolicyTestHarness.Sent(second, heir.settings.classes().get(0));
-        heir.messages.put("second", waits);
-        heir.active.put("second", waits);
-        heir.policy.message(heir.now, second);
-        heir.pass(200 * PolicyTestHarness.MS);
-        assertFalse(heir.sent("second"), "the one slot is taken");
+                new PolicyTestHarness.Sent(second, successor.settings.classes().get(0));
+        successor.messages.put("second", waits);
+        successor.active.put("second", waits);
+        successor.policy.message(successor.now, second);
+        successor.pass(200 * PolicyTestHarness.MS);
+        assertFalse(successor.sent("second"), "the one slot is taken");
         assertEquals(1, sent.out.size());
-        heir.answer(id, Result.DELIVERED);
-        assertTrue(heir.sent("second"));
+        successor.answer(id, Result.DELIVERED);
+        assertTrue(successor.sent("second"));
     }
 
     /** One that is back after a drain may have been started anew: few calls at first, while its neighbour goes on as before. */
     @Test
-    void whatIsReadyAgainIsCold() {
+    void aReturnedEndpointIsCold() {
         PolicyTestHarness harness = PolicyTestHarness.simple(40);
         harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
         harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
@@ -142,7 +142,7 @@
 
     /** Where it is the only one, its destination is caught up with step by step. */
     @Test
-    void anOnlyEndpointThatIsBackIsRampedUp() {
+    void theOnlyEndpointReturnsWithASlowStart() {
         PolicyTestHarness harness = PolicyTestHarness.simple(40);
         harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
         for (int i = 0; i < 20; i++) {
