--- a/src/test/java/elderseam/module/CarriedStateTest.java
+++ b/src/test/java/elderseam/module/CarriedStateTest.java
@@ -4,15 +4,11 @@
 
 import elderseam.compat.CoreProcess;
 import elderseam.compat.Recorded;
-import elderseam.module.Books.Destination;
-import elderseam.module.Books.Target;
 import elderseam.module.Sender.Listing;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.LongUnaryOperator;
 import org.junit.jupiter.api.Test;
 
@@ -106,7 +102,7 @@
     }
 
     private static List<String> carry(Notes notes) {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
+        Brain brain = new Brain(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         brain.carry(NOW, notes);
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
@@ -127,8 +123,8 @@
     /** One that has done nothing yet: what follows the endpoints has values of its own, by which its order is seen. */
     @Test
     void aFreshSenderWritesAsBefore() throws IOException {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
-        brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(Rig.endpoint("a1", 5, 1, Listing.READY)));
+        Brain brain = new Brain(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
+        brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, Listing.READY)));
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
         Recorded.assertLines(FRESH, written.lines);
@@ -136,35 +132,32 @@
 
     @Test
     void eachFieldHasItsPlace() throws IOException {
-        Brain brain = new Brain(SETTINGS, 3, new Rig(SETTINGS, 3));
-        Map<String, Target> endpoints = new LinkedHashMap<>();
-        Books.carry(new Notes(Recorded.lines(VALUES).iterator(), null), endpoints, e -> {
-            Destination d = new Destination(e.destination(), SETTINGS.kinds().get(e.kind()), NOW);
-            d.kindNo = e.kind();
-            Target t = new Target(e.address(), e.zone(), d, brain.new Circuit(e.address(), NOW), SETTINGS);
-            endpoints.put(e.address(), t);
-            return t;
-        });
+        PolicyContext context = new PolicyContext(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
+        context.now = NOW;
+        EndpointDirectory directory = new EndpointDirectory(context);
+        PolicySnapshot.transfer(new Notes(Recorded.lines(VALUES).iterator(), null), directory);
         List<String> fields = new ArrayList<>();
-        endpoints.values().forEach(t -> fields.addAll(fields(t)));
+        directory.endpoints.values().forEach(endpoint -> fields.addAll(fields(endpoint)));
         Recorded.assertLines(FIELDS, fields);
     }
 
-    private static List<String> fields(Target t) {
-        Brain.Circuit c = t.circuit;
+    private static List<String> fields(EndpointState endpoint) {
+        CircuitBreaker breaker = endpoint.group.breaker;
+        RateController rate = endpoint.group.rate;
+        LatencyTracker latency = endpoint.group.latency;
         LongUnaryOperator ago = time -> (NOW - time) / 1_000_000_000L;
-        return List.of("endpoint " + t.address, "destination " + t.dest.id, "kind " + t.dest.kindNo, "zone " + t.zone, "ready " + t.ready,
-                "gone " + t.gone, "bias " + t.bias, "last used " + ago.applyAsLong(t.usedAt), "cold since " + ago.applyAsLong(t.coldFrom),
-                "next cold call " + ago.applyAsLong(t.nextCold), "failures of class 0 " + t.failures[0], "rest of class 0 " + ago.applyAsLong(t.restUntil[0]),
-                "failures of class 1 " + t.failures[1], "rest of class 1 " + ago.applyAsLong(t.restUntil[1]), "breaker state " + c.state.ordinal(),
-                "opened by a hang " + c.byHang, "open until " + ago.applyAsLong(c.openUntil), "Retry-After until " + ago.applyAsLong(c.waitUntil),
-                "last success " + ago.applyAsLong(c.lastGood), "successes since " + ago.applyAsLong(c.goodStart),
-                "consecutive failures since " + ago.applyAsLong(c.runFrom), "down since " + ago.applyAsLong(c.downFrom),
-                "consecutive failures " + c.run, "baseline latency " + c.usual, "recent latency " + c.recent, "weight " + c.weight,
-                "own rate " + c.norm, "weight at the last cut " + c.cutWeight, "pace " + c.pace, "pace level " + c.level,
-                "failure rate " + c.sick, "refilled " + ago.applyAsLong(c.refilled), "paused until " + ago.applyAsLong(c.pauseUntil),
-                "pause " + c.pause, "last cut " + ago.applyAsLong(c.lastCut), "last full " + ago.applyAsLong(c.lastFull),
-                "last failure " + ago.applyAsLong(c.lastBad), "ramp since " + ago.applyAsLong(c.rampFrom), "ramping " + c.ramping,
-                "limit advertised " + c.told, "headroom " + c.room, "calls " + c.window.calls(), "failed " + c.window.failed());
+        return List.of("endpoint " + endpoint.address, "destination " + endpoint.destination.id, "kind " + endpoint.destination.kindIndex, "zone " + endpoint.zone, "ready " + endpoint.ready,
+                "gone " + endpoint.removed, "bias " + endpoint.bias, "last used " + ago.applyAsLong(endpoint.lastUsedAt), "cold since " + ago.applyAsLong(endpoint.coldSince),
+                "next cold call " + ago.applyAsLong(endpoint.nextColdCallAt), "failures of class 0 " + endpoint.failures[0], "rest of class 0 " + ago.applyAsLong(endpoint.ejectedUntil[0]),
+                "failures of class 1 " + endpoint.failures[1], "rest of class 1 " + ago.applyAsLong(endpoint.ejectedUntil[1]), "breaker state " + breaker.state.ordinal(),
+                "opened by a hang " + breaker.openedByHang, "open until " + ago.applyAsLong(breaker.openUntil), "Retry-After until " + ago.applyAsLong(rate.retryAfterUntil),
+                "last success " + ago.applyAsLong(latency.lastSuccessAt), "successes since " + ago.applyAsLong(latency.latestAnsweredStart),
+                "consecutive failures since " + ago.applyAsLong(breaker.failuresSince), "down since " + ago.applyAsLong(breaker.outageStart),
+                "consecutive failures " + breaker.consecutiveFailures, "baseline latency " + latency.baselineLatencyNs, "recent latency " + latency.recentLatencyNs, "weight " + endpoint.group.estimate.advertised,
+                "own rate " + endpoint.group.estimate.typicalRate, "weight at the last cut " + rate.advertisedAtCut, "pace " + rate.pace, "pace level " + rate.tokens,
+                "failure rate " + breaker.failureRateEwma, "refilled " + ago.applyAsLong(rate.refilledAt), "paused until " + ago.applyAsLong(rate.pauseUntil),
+                "pause " + rate.pauseNs, "last cut " + ago.applyAsLong(rate.lastCutAt), "last full " + ago.applyAsLong(rate.lastFullAt),
+                "last failure " + ago.applyAsLong(rate.lastFaultAt), "ramp since " + ago.applyAsLong(rate.warmUpStart), "ramping " + rate.warmingUp,
+                "limit advertised " + rate.limitReported, "headroom " + rate.headroom, "calls " + endpoint.group.window.calls(), "failed " + endpoint.group.window.failures());
     }
 }
