--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint run figures bench engines fuzz long
+.PHONY: build test lint format run figures bench engines fuzz long
 
 build:
 	mvn -q -B -DskipTests package
@@ -10,14 +10,18 @@
 lint:
 	mvn -q -B test-compile
 
+# Formats all Java sources; mvn verify fails on a source that this would change.
+format:
+	mvn -q -B spotless:apply
+
 run: build
 	exec $$(sed -n 's/^run = "exec \(.*\)"/\1/p' deploy/balancer.toml)
 
-# Times to readiness and silences at a share of a core; WORDS as StartFigures --help tells. Some minutes.
+# Times to readiness and silences at a share of a core; WORDS as StartupMeasurements --help tells. Some minutes.
 figures: build
 	mvn -q -B test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
-	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartFigures $(WORDS)
-	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipFigures
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.StartupMeasurements $(WORDS)
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.figures.GossipMeasurements
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.GossipCost
 	java -cp target/test-classes:target/classes:$$(cat target/classpath) elderseam.scenario.RulesCost
 
--- a/src/main/java/elderseam/acme/Certificates.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -1,7 +1,7 @@
 package elderseam.acme;
 
-import elderseam.http.Server.Answerer;
-import elderseam.http.Server.Request;
+import elderseam.http.HttpServer.Answerer;
+import elderseam.http.HttpServer.Request;
 import java.io.IOException;
 import java.io.Reader;
 import java.io.StringWriter;
@@ -44,28 +44,30 @@
  * folder, used again at the next start, and renewed when a third of their time is left. Its work blocks, so it has
  * a thread of its own; what it shares with other threads is the answers to challenges and the context it hands over.
  *
- * <p>With a {@link Sharing} one member of a fleet orders for all. Until that one's certificate comes, the others serve by the
+ * <p>With a {@link SharedCertificateOrder} one member of a fleet orders for all. Until that one's certificate comes, the others serve by the
  * one that they have, or not at all; half of the margin before theirs ends each orders for itself.
  */
-public final class Certificates {
+public final class CertificateManager {
     static {
-        Security.addProvider(new BouncyCastleProvider());   // acme4j's helpers ask for it by name
+        Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
 
-    private static final Duration ORDER = Duration.ofSeconds(60), AGAIN = Duration.ofSeconds(30),
-            LOOK = Duration.ofSeconds(1), FIRST = Duration.ofMinutes(3);   // while another orders; for the very first one
+    private static final Duration ORDER = Duration.ofSeconds(60),
+            AGAIN = Duration.ofSeconds(30),
+            LOOK = Duration.ofSeconds(1),
+            FIRST = Duration.ofMinutes(3); // while another orders; for the very first one
 
     private final String directory;
     private final List<String> names;
     private final Path folder;
     private final Consumer<SSLContext> renewed;
-    private final Sharing sharing;   // null where each orders for itself
+    private final SharedCertificateOrder sharing; // null where each orders for itself
     private final Instant began = Instant.now();
     private final Map<String, String> challenges = new ConcurrentHashMap<>();
-    private volatile Map<String, String> others = Map.of();   // challenges of the member that orders
-    private byte[] heard;        // what another passed on and was not looked at yet; this and the next two of its own thread
-    private byte[] passed = {};  // the last bundle that this member passed on or took over
-    private boolean told;        // of a first context
+    private volatile Map<String, String> others = Map.of(); // challenges of the member that orders
+    private byte[] heard; // what another passed on and was not looked at yet; this and the next two of its own thread
+    private byte[] passed = {}; // the last bundle that this member passed on or took over
+    private boolean told; // of a first context
     private ScheduledFuture<?> next;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(r -> {
         Thread t = new Thread(r, "certificates");
@@ -74,12 +76,17 @@
     });
 
     /** {@code renewed} is told of the first context and of each later one, on this class's own thread. */
-    public Certificates(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed) {
+    public CertificateManager(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed) {
         this(directory, names, folder, renewed, null);
     }
 
     /** {@code sharing}: with a fleet, or null. */
-    public Certificates(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed, Sharing sharing) {
+    public CertificateManager(
+            String directory,
+            List<String> names,
+            Path folder,
+            Consumer<SSLContext> renewed,
+            SharedCertificateOrder sharing) {
         this.directory = directory;
         this.names = names;
         this.folder = folder;
@@ -97,7 +104,7 @@
         if (bundle != null) {
             thread.execute(() -> {
                 heard = bundle;
-                if (next != null && next.cancel(false)) {   // else it looks soon
+                if (next != null && next.cancel(false)) { // else it looks soon
                     keep();
                 }
             });
@@ -107,7 +114,9 @@
     /** Answers the authority's look at {@code /.well-known/acme-challenge/TOKEN}. */
     public void challenge(Request r, Answerer to) {
         String authorization = answer(r.path());
-        to.answer(authorization == null ? 404 : 200, Map.of("Content-Type", "application/octet-stream"),
+        to.answer(
+                authorization == null ? 404 : 200,
+                Map.of("Content-Type", "application/octet-stream"),
                 authorization == null ? "" : authorization);
     }
 
@@ -145,11 +154,15 @@
         } catch (InterruptedException e) {
             return;
         }
-        next = thread.schedule(this::keep, Math.max(1_000, Duration.between(Instant.now(), at).toMillis()), TimeUnit.MILLISECONDS);
+        next = thread.schedule(
+                this::keep, Math.max(1_000, Duration.between(Instant.now(), at).toMillis()), TimeUnit.MILLISECONDS);
     }
 
     private boolean mine(Instant now, Instant dueAt, List<X509Certificate> chain) {
-        Instant lastAt = chain.isEmpty() ? began.plus(FIRST) : dueAt.plus(Duration.between(dueAt, chain.get(0).getNotAfter().toInstant()).dividedBy(2));
+        Instant lastAt = chain.isEmpty()
+                ? began.plus(FIRST)
+                : dueAt.plus(Duration.between(dueAt, chain.get(0).getNotAfter().toInstant())
+                        .dividedBy(2));
         return sharing == null || sharing.mine(now, dueAt, lastAt);
     }
 
@@ -160,7 +173,7 @@
         if (bytes == null || Arrays.equals(bytes, passed)) {
             return false;
         }
-        Bundle bundle = Bundle.of(bytes);
+        CertificateBundle bundle = CertificateBundle.of(bytes);
         String fault = bundle.fault(names, Instant.now());
         if (fault != null) {
             throw new IOException("the one that was passed on: " + fault);
@@ -170,7 +183,7 @@
             return false;
         }
         Files.createDirectories(folder);
-        Files.deleteIfExists(folder.resolve("chain.pem"));   // a chain beside another's key serves nobody: none is better
+        Files.deleteIfExists(folder.resolve("chain.pem")); // a chain beside another's key serves nobody: none is better
         put("key.pem", bundle.key());
         put("chain.pem", bundle.chain());
         passed = bytes;
@@ -180,7 +193,8 @@
 
     /** The holder's certificate for the others, once, be it one of before the fleet. */
     private void pass() throws IOException {
-        Bundle own = new Bundle(Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
+        CertificateBundle own = new CertificateBundle(
+                Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
         byte[] bytes = own.encoded();
         if (!Arrays.equals(bytes, passed) && sharing.pass(bytes)) {
             passed = bytes;
@@ -193,7 +207,9 @@
     }
 
     private void order(Instant by) throws AcmeException, IOException, InterruptedException {
-        Account account = new AccountBuilder().agreeToTermsOfService().useKeyPair(key("account.pem"))
+        Account account = new AccountBuilder()
+                .agreeToTermsOfService()
+                .useKeyPair(key("account.pem"))
                 .create(new Session(directory));
         Order order = account.newOrder().domains(names).create();
         try {
@@ -203,7 +219,7 @@
                 if (a.getStatus() != Status.VALID) {
                     challenges.put(c.getToken(), c.getAuthorization());
                     if (sharing != null) {
-                        sharing.challenges(challenges);   // known to all before the authority looks
+                        sharing.challenges(challenges); // known to all before the authority looks
                     }
                     c.trigger();
                 }
@@ -253,7 +269,7 @@
         if (!Files.exists(file)) {
             return List.of();
         }
-        return Bundle.chain(Files.readAllBytes(file));
+        return CertificateBundle.chain(Files.readAllBytes(file));
     }
 
     private SSLContext context(List<X509Certificate> chain) throws IOException, GeneralSecurityException {
--- a/src/main/java/elderseam/wiring/Reload.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -1,4 +1,4 @@
-package elderseam.wiring;
+package elderseam.app;
 
 import elderseam.core.Clock;
 import java.io.IOException;
@@ -19,7 +19,7 @@
  * some supervisors), the JVM leaves it so whatever handler it is given, and no signal ever comes: then the files are looked at
  * instead, and a change of one counts as the signal.
  */
-final class Reload {
+final class ReloadTrigger {
     /** Reads all that there is to read, or fails: what applies it, whole, on the thread that owns things. */
     interface Reading {
         Runnable read() throws IOException;
@@ -28,7 +28,7 @@
     private static final int MOST_FAULTS = 20;
     private static final long LOOK_NS = 500 * Clock.MS;
 
-    private Reload() {}
+    private ReloadTrigger() {}
 
     /** {@code use} is given what applies each reading that could be made; {@code files} are those that a reading reads. */
     static void onHangUp(Reading reading, Consumer<Runnable> use, List<Path> files) {
@@ -40,8 +40,11 @@
                 }
                 return null;
             };
-            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance("HUP"),
-                    Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, read));
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance("HUP"),
+                            Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, read));
             if (before == handler.getField("SIG_IGN").get(null)) {
                 System.err.println("SIGHUP is ignored by whoever started this: its files are looked at instead");
                 Thread looking = new Thread(() -> look(reading, use, files), "reload");
@@ -58,7 +61,7 @@
         while (true) {
             LockSupport.parkNanos(LOOK_NS);
             List<Object> now = marks(files);
-            if (!now.equals(seen)) {   // one that is half written can't be used, and has changed again by the next look
+            if (!now.equals(seen)) { // one that is half written can't be used, and has changed again by the next look
                 seen = now;
                 read(reading, use);
             }
@@ -84,8 +87,10 @@
         try {
             use.accept(reading.read());
         } catch (IOException | RuntimeException e) {
-            String.valueOf(e.getMessage()).lines().limit(MOST_FAULTS).forEach(fault ->
-                    System.err.println("configuration kept, the new one can't be used: " + fault));
+            String.valueOf(e.getMessage())
+                    .lines()
+                    .limit(MOST_FAULTS)
+                    .forEach(fault -> System.err.println("configuration kept, the new one can't be used: " + fault));
         }
     }
 }
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -33,8 +33,8 @@
     private long detachedBytes;
     private long size;
     private long live;
-    private boolean letGo;           // another process has it
-    private int sweepAt = 1_024;     // entries, at which those no longer kept are looked for
+    private boolean letGo; // another process has it
+    private int sweepAt = 1_024; // entries, at which those no longer kept are looked for
 
     public Journal(Path folder, long capBytes, Clock clock) throws IOException {
         this(new JournalFiles(folder), capBytes, clock);
@@ -56,10 +56,12 @@
     // ---------------------------------------------------------------- what is told
 
     /** False where there is no room: then nothing was written. */
-    public boolean taken(Stream.Message m) {
+    public boolean taken(ActiveRequest.Message m) {
         byte[] record = JournalRecords.taken(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         byte[] key = m.same().isEmpty() ? NONE : JournalRecords.keyed(m.id(), m.same());
-        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap || key.length > 0 && !append(key) || !append(record)) {
+        if (2 * (live + record.length + key.length + JournalEntry.BOOKKEEPING) > cap
+                || key.length > 0 && !append(key)
+                || !append(record)) {
             return false;
         }
         keys.put(m.id(), m.same());
@@ -68,7 +70,7 @@
     }
 
     /** Taken on as the same as another message, for whose end it waits; its body is not kept. False where there is no room. */
-    public boolean joined(Stream.Message m) {
+    public boolean joined(ActiveRequest.Message m) {
         byte[] record = JournalRecords.joined(m, clock.toWall(m.deadline()), clock.toWall(m.rememberUntil()));
         if (2 * (live + record.length + JournalEntry.BOOKKEEPING) > cap || !append(record)) {
             return false;
@@ -129,7 +131,7 @@
         return keys.schemes();
     }
 
-    private void put(Stream.Message m, int bytes) {
+    private void put(ActiveRequest.Message m, int bytes) {
         JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.message = m;
         e.size = bytes;
@@ -161,14 +163,15 @@
     }
 
     /** The end of a message; {@code owned}: its client waits to be told. */
-    public void ended(Stream.Message m, Answer answer, boolean owned) {
-        boolean owed = owned && (answer.kind() == Answer.Kind.REFUSED || answer.kind() == Answer.Kind.FAILED);
+    public void ended(ActiveRequest.Message m, FinalOutcome answer, boolean owned) {
+        boolean owed =
+                owned && (answer.kind() == FinalOutcome.Kind.REFUSED || answer.kind() == FinalOutcome.Kind.FAILED);
         JournalEntry e = new JournalEntry(m.front(), clock.toWall(m.rememberUntil()));
         e.answer = answer;
         e.owed = owed;
         append(e.end(m.id()));
         putEnd(m.id(), e);
-        if (entries.size() >= sweepAt) {   // not only when the file is full: ids are new for ever
+        if (entries.size() >= sweepAt) { // not only when the file is full: ids are new for ever
             sweep();
             sweepAt = Math.max(1_024, 2 * entries.size());
         }
@@ -190,7 +193,7 @@
     /** A refused message may come again, so its end is not remembered once it is told. */
     private void putEnd(String id, JournalEntry e) {
         put(id, e);
-        if (e.answer.kind() == Answer.Kind.REFUSED && !e.owed) {
+        if (e.answer.kind() == FinalOutcome.Kind.REFUSED && !e.owed) {
             forget(id);
         }
     }
@@ -204,14 +207,14 @@
     public void told(String id) {
         JournalEntry e = entries.get(id);
         if (e != null && e.owed) {
-            append(encode(JournalRecords.TOLD, id, out -> { }));
+            append(encode(JournalRecords.TOLD, id, out -> {}));
             toldOf(id, e);
         }
     }
 
     private void toldOf(String id, JournalEntry e) {
         e.owed = false;
-        if (e.answer != null && e.answer.kind() == Answer.Kind.REFUSED) {
+        if (e.answer != null && e.answer.kind() == FinalOutcome.Kind.REFUSED) {
             forget(id);
         }
     }
@@ -219,28 +222,31 @@
     // ---------------------------------------------------------------- what it knows
 
     /** How a message ended, or null. */
-    public Answer answer(String id) {
+    public FinalOutcome answer(String id) {
         JournalEntry e = entries.get(id);
         return e == null ? null : e.answer;
     }
 
     /** How a message with that key ended, where that is final: one that was refused may come again. Null for none. */
-    public Answer answerOf(String same) {
-        Answer a = keys.id(same) == null ? null : answer(keys.id(same));
-        return a == null || a.kind() == Answer.Kind.REFUSED ? null : a;
+    public FinalOutcome answerOf(String same) {
+        FinalOutcome a = keys.id(same) == null ? null : answer(keys.id(same));
+        return a == null || a.kind() == FinalOutcome.Kind.REFUSED ? null : a;
     }
 
     /** Those that wait for the end of another, as an earlier process left them. */
-    List<Stream.Message> joined() {
-        return entries.values().stream().filter(e -> e.joined && e.answer == null).map(e -> e.message).toList();
+    List<ActiveRequest.Message> joined() {
+        return entries.values().stream()
+                .filter(e -> e.joined && e.answer == null)
+                .map(e -> e.message)
+                .toList();
     }
 
     /** The messages without an end, as an earlier process left them, but for those whose call it still has out. */
-    List<Stream> unfinished(Set<String> out) {
-        List<Stream> back = new ArrayList<>();
+    List<ActiveRequest> unfinished(Set<String> out) {
+        List<ActiveRequest> back = new ArrayList<>();
         entries.forEach((id, e) -> {
             if (e.answer == null && !e.joined && !out.contains(id)) {
-                e.result(e.outMs != 0);   // an attempt that was out may have run
+                e.result(e.outMs != 0); // an attempt that was out may have run
                 back.add(back(e));
             }
         });
@@ -248,12 +254,16 @@
     }
 
     /** Those of these that are unfinished; their calls are out. */
-    List<Stream> out(Set<String> ids) {
-        return ids.stream().map(entries::get).filter(e -> e != null && e.answer == null && !e.joined).map(this::back).toList();
+    List<ActiveRequest> out(Set<String> ids) {
+        return ids.stream()
+                .map(entries::get)
+                .filter(e -> e != null && e.answer == null && !e.joined)
+                .map(this::back)
+                .toList();
     }
 
-    private Stream back(JournalEntry e) {
-        Stream s = new Stream(e.message);
+    private ActiveRequest back(JournalEntry e) {
+        ActiveRequest s = new ActiveRequest(e.message);
         s.attempts = e.attempts;
         s.mayHaveRun = e.firstRanMs != 0;
         s.keyUntil = clock.fromWall(e.firstRanMs);
@@ -266,13 +276,14 @@
     }
 
     /** The ends that are yet to be told; the bodies are gone. */
-    Map<Stream.Message, Answer> owed() {
-        Map<Stream.Message, Answer> owed = new LinkedHashMap<>();
+    Map<ActiveRequest.Message, FinalOutcome> owed() {
+        Map<ActiveRequest.Message, FinalOutcome> owed = new LinkedHashMap<>();
         entries.forEach((id, e) -> {
             if (e.owed) {
                 long keep = clock.fromWall(e.keepMs);
-                owed.put(new Stream.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "",
-                        new byte[0]), e.answer);
+                owed.put(
+                        new ActiveRequest.Message(id, e.front, 0, 0, 0, keep, keep, false, true, "", new byte[0]),
+                        e.answer);
             }
         });
         return owed;
@@ -296,7 +307,7 @@
             return true;
         } catch (IOException e) {
             System.err.println("journal: " + e);
-            return false;   // what was half written stays behind the end and is written over
+            return false; // what was half written stays behind the end and is written over
         }
     }
 
@@ -361,7 +372,20 @@
                 byte[] body = new byte[in.readInt()];
                 in.readFully(body);
                 String same = type == JournalRecords.JOINED ? in.readUTF() : keys.of(id) == null ? "" : keys.of(id);
-                put(new Stream.Message(id, front, cls, tenant, destination, deadline, keep, again, heedsWindow, key, body, same),
+                put(
+                        new ActiveRequest.Message(
+                                id,
+                                front,
+                                cls,
+                                tenant,
+                                destination,
+                                deadline,
+                                keep,
+                                again,
+                                heedsWindow,
+                                key,
+                                body,
+                                same),
                         HEAD + bytes);
                 entries.get(id).joined = type == JournalRecords.JOINED;
             }
@@ -380,7 +404,7 @@
             }
             case JournalRecords.ENDED -> {
                 JournalEntry end = new JournalEntry(in.readByte(), in.readLong());
-                end.answer = new Answer(Answer.Kind.values()[in.readByte()], in.readLong());
+                end.answer = new FinalOutcome(FinalOutcome.Kind.values()[in.readByte()], in.readLong());
                 end.owed = in.readBoolean();
                 putEnd(id, end);
             }
@@ -404,7 +428,7 @@
         try {
             compact();
         } catch (IOException e) {
-            System.err.println("journal: " + e);   // the old file stands, and is appended to as before
+            System.err.println("journal: " + e); // the old file stands, and is appended to as before
         }
     }
 
--- a/src/main/java/elderseam/core/JournalRecords.java
+++ b/src/main/java/elderseam/core/JournalRecords.java
@@ -8,7 +8,16 @@
 
 /** The bytes of the journal's records: length and checksum (4 each), then the type, the id and what the type holds. */
 final class JournalRecords {
-    static final byte TAKEN = 1, SENT = 2, RESULT = 3, ENDED = 4, TOLD = 5, STATE = 6, KEYED = 7, JOINED = 8, SCHEME = 9, DETACHED = 10;
+    static final byte TAKEN = 1,
+            SENT = 2,
+            RESULT = 3,
+            ENDED = 4,
+            TOLD = 5,
+            STATE = 6,
+            KEYED = 7,
+            JOINED = 8,
+            SCHEME = 9,
+            DETACHED = 10;
     static final int HEAD = 8, MOST = 256 << 10;
 
     interface Writing {
@@ -25,7 +34,7 @@
             out.writeUTF(id);
             content.to(out);
         } catch (IOException e) {
-            throw new IllegalStateException(e);   // memory doesn't fail so
+            throw new IllegalStateException(e); // memory doesn't fail so
         }
         byte[] record = bytes.toByteArray();
         ByteBuffer.wrap(record).putInt(record.length - HEAD).putInt(checksum(record, HEAD, record.length - HEAD));
@@ -39,19 +48,20 @@
     }
 
     /** Times are of the wall clock, in ms. */
-    static byte[] taken(Stream.Message m, long deadlineMs, long keepMs) {
+    static byte[] taken(ActiveRequest.Message m, long deadlineMs, long keepMs) {
         return encode(TAKEN, m.id(), out -> message(out, m, deadlineMs, keepMs));
     }
 
     /** One that waits for another's end: with the key that they have in common. */
-    static byte[] joined(Stream.Message m, long deadlineMs, long keepMs) {
+    static byte[] joined(ActiveRequest.Message m, long deadlineMs, long keepMs) {
         return encode(JOINED, m.id(), out -> {
             message(out, m, deadlineMs, keepMs);
             out.writeUTF(m.same());
         });
     }
 
-    private static void message(DataOutputStream out, Stream.Message m, long deadlineMs, long keepMs) throws IOException {
+    private static void message(DataOutputStream out, ActiveRequest.Message m, long deadlineMs, long keepMs)
+            throws IOException {
         out.writeByte(m.front());
         out.writeInt(m.cls());
         out.writeInt(m.tenant());
@@ -81,7 +91,7 @@
         return encode(DETACHED, host, to -> to.writeBoolean(out));
     }
 
-    static byte[] ended(String id, byte front, long keepMs, Answer answer, boolean owed) {
+    static byte[] ended(String id, byte front, long keepMs, FinalOutcome answer, boolean owed) {
         return encode(ENDED, id, out -> {
             out.writeByte(front);
             out.writeLong(keepMs);
--- a/src/main/java/elderseam/fleet/lease/LeaseMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
@@ -1,6 +1,6 @@
 package elderseam.fleet.lease;
 
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionTable;
 import java.io.File;
 import java.io.IOException;
@@ -34,12 +34,16 @@
  *
  * <p>The engine's one applying thread changes the table; whoever else reads it (a stamp, a snapshot) takes the same lock.
  */
-public final class LeaseMachine extends BaseStateMachine {
+public final class LeaseStateMachine extends BaseStateMachine {
     /** The versions as this member has them applied, which may be behind the group's. */
-    public record Versions(Version latest, Version pending, VersionTable.Ended ended, List<Version> all) {}
+    public record Versions(
+            ConfigurationVersion latest,
+            ConfigurationVersion pending,
+            VersionTable.Ended ended,
+            List<ConfigurationVersion> all) {}
 
     private final LeaseTable table = new LeaseTable();
-    private final VersionTable versions = new VersionTable();   // under the table's lock too: one clock stamps both
+    private final VersionTable versions = new VersionTable(); // under the table's lock too: one clock stamps both
     private final LeaderClock leading = new LeaderClock();
     private final LongSupplier clock;
     private final Watch watch;
@@ -65,7 +69,7 @@
      * {@code clock}: the member's monotonic clock in nanoseconds, an argument so that a rehearsal can make it run fast or
      * slow.
      */
-    public LeaseMachine(LongSupplier clock, Watch watch) {
+    public LeaseStateMachine(LongSupplier clock, Watch watch) {
         this.clock = clock;
         this.watch = watch;
     }
@@ -93,7 +97,8 @@
     private void load() throws IOException {
         SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
         if (snapshot != null) {
-            LeaseCodec.Images images = LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
+            LeaseCodec.Images images =
+                    LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
             synchronized (table) {
                 table.restore(images.leases());
                 if (images.versions() != null) {
@@ -142,8 +147,14 @@
         synchronized (table) {
             stamp = leading.stamp(term, Math.max(table.now(), versions.now()), clock.getAsLong());
         }
-        return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
-                .setLogData(onVersions ? LeaseCodec.encodeVersions(version.stamped(stamp)) : LeaseCodec.encode(command.stamped(stamp))).build();
+        return TransactionContext.newBuilder()
+                .setStateMachine(this)
+                .setClientRequest(request)
+                .setLogData(
+                        onVersions
+                                ? LeaseCodec.encodeVersions(version.stamped(stamp))
+                                : LeaseCodec.encode(command.stamped(stamp)))
+                .build();
     }
 
     @Override
@@ -152,11 +163,12 @@
         ByteString data = entry.getStateMachineLogEntry().getLogData();
         try {
             if (LeaseCodec.isVersions(data)) {
-                return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
+                return CompletableFuture.completedFuture(
+                        Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
             }
             LeaseTable.Command command = LeaseCodec.command(data);
             LeaseTable.Outcome outcome;
-            synchronized (table) {   // the index moves with the table: a snapshot must tell of both or neither
+            synchronized (table) { // the index moves with the table: a snapshot must tell of both or neither
                 outcome = table.apply(command);
                 updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
             }
@@ -177,7 +189,7 @@
         VersionTable.Outcome outcome;
         boolean news;
         synchronized (table) {
-            Version pending = versions.pending();
+            ConfigurationVersion pending = versions.pending();
             VersionTable.Ended ended = versions.ended();
             outcome = versions.apply(command);
             news = pending != versions.pending() || !ended.equals(versions.ended());
--- a/src/main/java/elderseam/fleet/lease/TrialDuty.java
+++ b/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
@@ -8,19 +8,23 @@
  * until that one has published that the destination is back. A holder that has nothing to try with (its breaker is ready for
  * a trial, and none goes out) gives the lease up for a while. Where the group says nothing each tries for itself.
  */
-public final class TrialDuty {
+public final class RecoveryProbeTask {
     /** What to do now. {@code wants}: to hold the lease; {@code defers}: no trial of its own yet; {@code tells}: publish that it is back. */
     public record Turn(boolean wants, boolean defers, boolean tells) {}
 
     /** How the member's own breaker stands: it lends, it is ready for a trial or has one out, it sleeps. */
-    public enum Standing { CLOSED, HALF_OPEN, OPEN }
+    public enum Standing {
+        CLOSED,
+        HALF_OPEN,
+        OPEN
+    }
 
     private final long idleNs, pauseNs;
     private long halfOpenSince = -1, pausedUntil = Long.MIN_VALUE;
     private boolean open, told, back;
 
     /** {@code idleNs}: so long a holder may be ready for a trial without one's outcome; {@code pauseNs}: then it does not want the lease. */
-    public TrialDuty(long idleNs, long pauseNs) {
+    public RecoveryProbeTask(long idleNs, long pauseNs) {
         this.idleNs = idleNs;
         this.pauseNs = pauseNs;
     }
@@ -39,7 +43,7 @@
             halfOpenSince = -1;
             return new Turn(holds && !told, false, tells);
         }
-        if (!open) {   // a new outage: what was published of the one before says nothing of it
+        if (!open) { // a new outage: what was published of the one before says nothing of it
             open = true;
             told = false;
             back = false;
--- a/src/main/java/elderseam/cloudevents/HeaderText.java
+++ b/src/main/java/elderseam/frontend/cloudevents/AttributeHeaderCodec.java
@@ -1,4 +1,4 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -11,16 +11,16 @@
  * else as it is. In: a double-quoted value is unescaped (RFC 7230, section 3.2.6), then percent-decoded once; octets
  * that are no UTF-8, and characters that an attribute may not hold, are refused.
  */
-final class HeaderText {
+final class AttributeHeaderCodec {
     private static final String HEX = "0123456789ABCDEF";
 
-    private HeaderText() {}
+    private AttributeHeaderCodec() {}
 
     /** {@code value} must be a legal attribute value, as {@link #illegal} tells. */
     static String encode(String value) {
         StringBuilder out = new StringBuilder(value.length() + 16);
         for (int i = 0; i < value.length(); ) {
-            int c = value.codePointAt(i);   // a surrogate pair is one character
+            int c = value.codePointAt(i); // a surrogate pair is one character
             i += Character.charCount(c);
             if (c > 0x20 && c < 0x7f && c != '"' && c != '%') {
                 out.append((char) c);
@@ -56,8 +56,11 @@
         }
         String value;
         try {
-            value = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-                    .decode(ByteBuffer.wrap(octets, 0, n)).toString();
+            value = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .onMalformedInput(CodingErrorAction.REPORT)
+                    .decode(ByteBuffer.wrap(octets, 0, n))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new IllegalArgumentException("percent-encoded octets that are no UTF-8");
         }
--- a/src/main/java/elderseam/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventCodec.java
@@ -1,13 +1,13 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.SettingsMap;
-import elderseam.core.Stream;
-import elderseam.http.Server.Request;
-import elderseam.module.Sender;
+import elderseam.http.HttpServer.Request;
+import elderseam.policy.Sender;
 import io.cloudevents.CloudEvent;
 import io.cloudevents.http.HttpMessageFactory;
 import io.cloudevents.jackson.JsonFormat;
@@ -38,20 +38,22 @@
  * deadline, source and id are the identity. An event is decoded once, into the request that will carry it on.
  */
 final class EventCodec {
-    private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}");   // once: each event meets it
+    private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}"); // once: each event meets it
     static final int MOST_EVENT = 64 << 10, MOST_BATCH = 256 << 10, MOST_EVENTS = 64;
     private static final String BATCH = "application/cloudevents-batch+json", ONE = "application/cloudevents+json";
 
     /** One event of a request: its message, or why there is none. */
-    record Item(String source, String id, Stream.Message message, int code, String fault, CloudEvent event) {
-        Item(String source, String id, Stream.Message message, int code, String fault) {
+    record Item(String source, String id, ActiveRequest.Message message, int code, String fault, CloudEvent event) {
+        Item(String source, String id, ActiveRequest.Message message, int code, String fault) {
             this(source, id, message, code, fault, null);
         }
 
         /** What the event says of itself, extensions too. */
         Map<String, String> attributes() {
             Map<String, String> all = new HashMap<>();
-            event.getAttributeNames().stream().filter(n -> event.getAttribute(n) != null).forEach(n -> all.put(n, event.getAttribute(n).toString()));
+            event.getAttributeNames().stream()
+                    .filter(n -> event.getAttribute(n) != null)
+                    .forEach(n -> all.put(n, event.getAttribute(n).toString()));
             event.getExtensionNames().forEach(n -> all.put(n, String.valueOf(event.getExtension(n))));
             return all;
         }
@@ -93,7 +95,8 @@
 
     /** {@code ruled}: class and destination may be missing, for the operator's rules to say. */
     Decoded decode(Request r, boolean ruled) {
-        String type = r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
+        String type =
+                r.header("Content-Type").toLowerCase(Locale.ROOT).split(";")[0].strip();
         if (type.equals(BATCH)) {
             return batch(r.body(), ruled);
         }
@@ -115,8 +118,8 @@
             }
         }
         if (type.startsWith("application/cloudevents") || !binary) {
-            return new Decoded(false, List.of(Item.fault(415, "neither binary mode (ce- headers) nor " + ONE
-                    + " nor " + BATCH)));
+            return new Decoded(
+                    false, List.of(Item.fault(415, "neither binary mode (ce- headers) nor " + ONE + " nor " + BATCH)));
         }
         if (r.header("ce-specversion").isEmpty()) {
             return new Decoded(false, List.of(Item.fault(400, "ce-specversion is missing")));
@@ -132,11 +135,11 @@
         if (name.equalsIgnoreCase("ce-datacontenttype")) {
             return "Content-Type tells it";
         }
-        if (!EventRules.isName(name.substring(3).toLowerCase(Locale.ROOT))) {
+        if (!EventValidator.isName(name.substring(3).toLowerCase(Locale.ROOT))) {
             return "no name of an attribute: a to z and 0 to 9";
         }
         try {
-            into.put(name, HeaderText.decode(values.getFirst()));
+            into.put(name, AttributeHeaderCodec.decode(values.getFirst()));
             return "";
         } catch (IllegalArgumentException e) {
             return e.getMessage();
@@ -146,9 +149,10 @@
     private Decoded structured(byte[] body, boolean ruled) {
         try {
             JsonNode event = json.readTree(body);
-            String fault = EventRules.fault(event);
+            String fault = EventValidator.fault(event);
             byte[] told = json.writeValueAsBytes(told(event));
-            return fault.isEmpty() ? one(() -> format.deserialize(told), body.length, ruled)
+            return fault.isEmpty()
+                    ? one(() -> format.deserialize(told), body.length, ruled)
                     : new Decoded(false, List.of(Item.fault(400, fault)));
         } catch (IOException e) {
             return new Decoded(false, List.of(Item.fault(400, "not JSON: " + firstLine(e))));
@@ -158,7 +162,9 @@
     /** Without the attributes that are null, which is to say not set (JSON format, section 2.2): the SDK writes "null". */
     private static JsonNode told(JsonNode event) {
         if (event instanceof ObjectNode object) {
-            object.properties().removeIf(field -> field.getValue().isNull() && !field.getKey().equals("data"));
+            object.properties()
+                    .removeIf(field ->
+                            field.getValue().isNull() && !field.getKey().equals("data"));
         }
         return event;
     }
@@ -183,9 +189,16 @@
             }
             for (JsonNode event : list) {
                 byte[] bytes = json.writeValueAsBytes(told(event));
-                String fault = EventRules.fault(event);
-                items.add(!fault.isEmpty() ? new Item(event.path("source").asText(), event.path("id").asText(), null, 400, fault)
-                        : item(() -> format.deserialize(bytes), bytes.length, ruled));
+                String fault = EventValidator.fault(event);
+                items.add(
+                        !fault.isEmpty()
+                                ? new Item(
+                                        event.path("source").asText(),
+                                        event.path("id").asText(),
+                                        null,
+                                        400,
+                                        fault)
+                                : item(() -> format.deserialize(bytes), bytes.length, ruled));
             }
             return new Decoded(true, items);
         } catch (IOException e) {
@@ -200,11 +213,13 @@
         CloudEvent event;
         try {
             event = reading.read();
-        } catch (RuntimeException e) {   // the SDK's faults share no narrower type
+        } catch (RuntimeException e) { // the SDK's faults share no narrower type
             return Item.fault(400, firstLine(e));
         }
-        String source = event.getSource().toString(), fault = EventRules.fault(event);
-        return fault.isEmpty() ? message(event, source, event.getId(), ruled) : new Item(source, event.getId(), null, 400, fault);
+        String source = event.getSource().toString(), fault = EventValidator.fault(event);
+        return fault.isEmpty()
+                ? message(event, source, event.getId(), ruled)
+                : new Item(source, event.getId(), null, 400, fault);
     }
 
     private static String firstLine(Exception e) {
@@ -224,11 +239,14 @@
         if (!DESTINATION.matcher(destination).matches() && !(ruled && destination.isEmpty())) {
             return new Item(source, id, null, 400, "destination is missing or no number");
         }
-        long deadline = clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
+        long deadline =
+                clock.now() + (cls < 0 ? longest() : settings.classes().get(cls).deadlineNs());
         String told = extension(event, "deadline");
         if (!told.isEmpty()) {
             try {
-                deadline = Math.min(deadline, clock.fromWall(OffsetDateTime.parse(told).toInstant().toEpochMilli()));
+                deadline = Math.min(
+                        deadline,
+                        clock.fromWall(OffsetDateTime.parse(told).toInstant().toEpochMilli()));
             } catch (DateTimeException | ArithmeticException e) {
                 return new Item(source, id, null, 400, "deadline is no RFC 3339 time");
             }
@@ -243,13 +261,31 @@
             return new Item(source, id, null, 413, "more than " + MOST_EVENT + " bytes");
         }
         String identity = identity(source, id);
-        return new Item(source, id, new Stream.Message(identity, EventFront.NUMBER, cls,
-                tenants.indexOf(extension(event, "tenant")), destination.isEmpty() ? -1 : Long.parseLong(destination), deadline,
-                clock.now() + rememberNs, false, false, identity, body), 0, "", event);
+        return new Item(
+                source,
+                id,
+                new ActiveRequest.Message(
+                        identity,
+                        EventFrontend.NUMBER,
+                        cls,
+                        tenants.indexOf(extension(event, "tenant")),
+                        destination.isEmpty() ? -1 : Long.parseLong(destination),
+                        deadline,
+                        clock.now() + rememberNs,
+                        false,
+                        false,
+                        identity,
+                        body),
+                0,
+                "",
+                event);
     }
 
     private long longest() {
-        return settings.classes().stream().mapToLong(Sender.MessageClass::deadlineNs).max().orElse(0);
+        return settings.classes().stream()
+                .mapToLong(Sender.MessageClass::deadlineNs)
+                .max()
+                .orElse(0);
     }
 
     private static String extension(CloudEvent event, String name) {
@@ -278,7 +314,7 @@
             out.writeShort(headers.size());
             for (Map.Entry<String, String> h : headers.entrySet()) {
                 out.writeUTF(h.getKey());
-                out.writeUTF(attribute(h.getKey()) ? HeaderText.encode(h.getValue()) : h.getValue());
+                out.writeUTF(attribute(h.getKey()) ? AttributeHeaderCodec.encode(h.getValue()) : h.getValue());
             }
             out.write(payload[0]);
         } catch (IOException e) {
--- a/src/main/java/elderseam/cloudevents/WebHook.java
+++ b/src/main/java/elderseam/frontend/cloudevents/WebHookHandshake.java
@@ -1,6 +1,6 @@
-package elderseam.cloudevents;
+package elderseam.frontend.cloudevents;
 
-import elderseam.http.Server.Request;
+import elderseam.http.HttpServer.Request;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -11,7 +11,7 @@
  * it may deliver here, and how fast. {@code origins}: who may, by the names that senders give themselves, {@code *} for
  * all; empty: the handshake is off. {@code rate}: requests a minute at most, 0 for any.
  */
-record WebHook(List<String> origins, int rate) {
+record WebHookHandshake(List<String> origins, int rate) {
     /** What is answered, and with which headers. */
     record Reply(int code, Map<String, String> headers) {}
 
@@ -27,7 +27,7 @@
         }
         boolean all = origins.contains("*");
         if (!all && !origins.contains(origin.toLowerCase(Locale.ROOT))) {
-            return new Reply(403, headers);   // without an allowed origin nothing is granted
+            return new Reply(403, headers); // without an allowed origin nothing is granted
         }
         String asked = r.header("WebHook-Request-Rate");
         if (!asked.isEmpty() && !asked.matches("[1-9]\\d{0,8}|\\*")) {
@@ -35,9 +35,13 @@
         }
         headers.put("WebHook-Allowed-Origin", all ? "*" : origin);
         if (!asked.isEmpty() || rate > 0) {
-            headers.put("WebHook-Allowed-Rate", rate == 0 ? "*"
-                    : asked.isEmpty() || asked.equals("*") ? Integer.toString(rate)
-                    : Integer.toString(Math.min(rate, Integer.parseInt(asked))));
+            headers.put(
+                    "WebHook-Allowed-Rate",
+                    rate == 0
+                            ? "*"
+                            : asked.isEmpty() || asked.equals("*")
+                                    ? Integer.toString(rate)
+                                    : Integer.toString(Math.min(rate, Integer.parseInt(asked))));
         }
         return new Reply(200, headers);
     }
--- /dev/null
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -0,0 +1,110 @@
+package elderseam.frontend.platform;
+
+import elderseam.core.JsonValue;
+import elderseam.core.SettingsMap;
+import elderseam.http.EndpointAddress;
+import elderseam.policy.Sender;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
+public final class EndpointList {
+    /** One that is listed. */
+    private record Listed(EndpointAddress host, Sender.Endpoint entry) {}
+
+    private final Map<String, Listed> listed = new HashMap<>();
+    private final List<String> kinds, zones;
+
+    public EndpointList(SettingsMap settings) {
+        this.kinds = settings.list("flavors");
+        this.zones = settings.list("localities");
+    }
+
+    /** That host; one that is not listed has no address. */
+    public EndpointAddress host(String id) {
+        Listed known = listed.get(id);
+        return known == null ? new EndpointAddress(id, "") : known.host;
+    }
+
+    /** The hosts of a destination, by their ids. */
+    public List<String> of(long destination) {
+        return listed.values().stream()
+                .filter(l -> l.entry.destination() == destination)
+                .map(l -> l.host.id())
+                .toList();
+    }
+
+    /** All that are listed, by destination. */
+    public Map<Long, List<String>> all() {
+        Map<Long, List<String>> all = new HashMap<>();
+        listed.values()
+                .forEach(l -> all.computeIfAbsent(l.entry.destination(), d -> new ArrayList<>())
+                        .add(l.host.id()));
+        return all;
+    }
+
+    /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
+    public List<Sender.Endpoint> decode(JsonValue servers, boolean whole) {
+        if (whole) {
+            listed.clear();
+        }
+        List<Sender.Endpoint> entries = new ArrayList<>();
+        for (JsonValue s : servers.items()) {
+            String id = s.at("id").text("");
+            Sender.Listing listing = switch (s.at("state").text("")) {
+                case "SERVING" -> Sender.Listing.READY;
+                case "DELETED" -> Sender.Listing.GONE;
+                default -> Sender.Listing.DRAINING;
+            };
+            Sender.Endpoint e = new Sender.Endpoint(
+                    id,
+                    s.at("cell").whole(0),
+                    Math.max(0, kinds.indexOf(s.at("kind").text(""))),
+                    Math.max(0, zones.indexOf(s.at("zone").text(""))),
+                    listing,
+                    s.at("weight").real(1));
+            entries.add(e);
+            if (listing == Sender.Listing.GONE) {
+                listed.remove(id);
+            } else { // a change that tells no address leaves it as it was
+                listed.put(
+                        id,
+                        new Listed(
+                                s.at("addr").told()
+                                        ? new EndpointAddress(id, s.at("addr").text(""))
+                                        : host(id),
+                                e));
+            }
+        }
+        return entries;
+    }
+
+    /** The list as it stands, in discovery's form. */
+    String encoded(long version) {
+        StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
+        String between = "";
+        for (Listed l : listed.values()) {
+            Sender.Endpoint e = l.entry;
+            text.append(between)
+                    .append("{\"id\":")
+                    .append(JsonValue.quoted(e.address()))
+                    .append(",\"addr\":")
+                    .append(JsonValue.quoted(l.host.address()))
+                    .append(",\"zone\":")
+                    .append(JsonValue.quoted(zones.get(e.zone())))
+                    .append(",\"kind\":")
+                    .append(JsonValue.quoted(kinds.get(e.kind())))
+                    .append(",\"cell\":")
+                    .append(e.destination())
+                    .append(",\"state\":\"")
+                    .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING")
+                    .append("\",\"weight\":")
+                    .append(e.weight())
+                    .append(",\"started_ms\":0}");
+            between = ",";
+        }
+        return text.append("]}").toString();
+    }
+}
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -16,7 +16,7 @@
  * Lifeguard (Dadgar, Phillips, Currey 2018): a member whose own probes fail or whose helpers are silent takes itself to be
  * the slow one, and probes more slowly; suspicions begin long and shorten with each independent confirmation; a suspect is
  * told so by whoever probes it. The roles of dead and left members, the treatment of a foreign dead one as suspect in a full
- * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist. {@link Roll} holds
+ * exchange, and the looks at seeds and lost members after a partition follow the practice of memberlist. {@link MembershipTable} holds
  * what is believed of whom; probes, helpers, rounds of rumours and exchanges are here.
  *
  * <p>Times are nanoseconds that never run backwards. {@link #tick} is to be called at {@link #nextAt}. Bounds: members by
@@ -37,17 +37,17 @@
     private record Relay(String asker, long theirs, long nackAt, long end, boolean[] nacked) {}
 
     private final String self, address;
-    private final Tempo tempo;
+    private final GossipTimings tempo;
     private final SplittableRandom random;
     private final List<String> seeds;
-    private final Roll roll;
+    private final MembershipTable roll;
     private final List<Member> round = new ArrayList<>();
     private final Map<Long, Relay> relays = new TreeMap<>();
     private List<Message.Sent> out = new ArrayList<>();
     private List<String> syncs = new ArrayList<>();
     private Probe probe;
     private long numbers, nextSync, nextNews;
-    private int health;   // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
+    private int health; // how ill this member takes itself to be: 0 well, up to Tempo.mostHealth
     private boolean left;
     private BooleanSupplier more = () -> false;
 
@@ -55,8 +55,15 @@
      * {@code seeds}: addresses of members to join through; {@code incarnation}: above that of any earlier life, such as the
      * wall clock at the start; {@code changed}: told each change of another's standing.
      */
-    public Membership(String self, String address, List<String> seeds, long incarnation, Tempo tempo, long now,
-                      SplittableRandom random, BiConsumer<String, Standing> changed) {
+    public Membership(
+            String self,
+            String address,
+            List<String> seeds,
+            long incarnation,
+            GossipTimings tempo,
+            long now,
+            SplittableRandom random,
+            BiConsumer<String, MemberState> changed) {
         this.self = self;
         this.address = address;
         this.seeds = List.copyOf(seeds);
@@ -64,9 +71,15 @@
         this.random = random;
         this.nextSync = now;
         this.nextNews = now;
-        this.roll = new Roll(self, address, incarnation, tempo, changed,
-                m -> round.add(random.nextInt(round.size() + 1), m), () -> feel(1));
-        newProbe(now, (long) (random.nextDouble() * tempo.periodNs()));   // members that start together probe apart
+        this.roll = new MembershipTable(
+                self,
+                address,
+                incarnation,
+                tempo,
+                changed,
+                m -> round.add(random.nextInt(round.size() + 1), m),
+                () -> feel(1));
+        newProbe(now, (long) (random.nextDouble() * tempo.periodNs())); // members that start together probe apart
     }
 
     // ---------------------------------------------------------------- what it knows
@@ -77,9 +90,9 @@
     }
 
     /** What is held of a member; null of one that is not known. */
-    public Standing standing(String name) {
+    public MemberState standing(String name) {
         Member m = roll.get(name);
-        return name.equals(self) ? left ? Standing.LEFT : Standing.ALIVE : m == null ? null : m.standing;
+        return name.equals(self) ? left ? MemberState.LEFT : MemberState.ALIVE : m == null ? null : m.standing;
     }
 
     // ---------------------------------------------------------------- time
@@ -89,13 +102,16 @@
         if (left) {
             return Long.MAX_VALUE;
         }
-        long at = Math.min(nextSync, probe.asked || probe.answered || probe.target == null ? probe.end
-                : Math.min(probe.answerBy, probe.end));
+        long at = Math.min(
+                nextSync,
+                probe.asked || probe.answered || probe.target == null
+                        ? probe.end
+                        : Math.min(probe.answerBy, probe.end));
         if (hasNews() && !roll.all().isEmpty()) {
             at = Math.min(at, nextNews);
         }
         for (Member m : roll.notAlive()) {
-            if (m.standing == Standing.SUSPECT) {
+            if (m.standing == MemberState.SUSPECT) {
                 at = Math.min(at, roll.deadAt(m));
             }
         }
@@ -153,14 +169,17 @@
     /** So many at random of those that fit, or all there are. */
     private List<Member> some(int most, Predicate<Member> fits) {
         List<Member> all = roll.all(), some = new ArrayList<>();
-        for (int tries = DRAWS * most; tries > 0 && some.size() < most && !all.isEmpty(); tries--) {   // nearly all fit, as a rule
+        for (int tries = DRAWS * most;
+                tries > 0 && some.size() < most && !all.isEmpty();
+                tries--) { // nearly all fit, as a rule
             Member m = all.get(random.nextInt(all.size()));
             if (fits.test(m) && !some.contains(m)) {
                 some.add(m);
             }
         }
         if (some.size() < most && some.size() < all.size()) {
-            List<Member> rest = new ArrayList<>(all.stream().filter(fits).filter(m -> !some.contains(m)).toList());
+            List<Member> rest = new ArrayList<>(
+                    all.stream().filter(fits).filter(m -> !some.contains(m)).toList());
             while (some.size() < most && !rest.isEmpty()) {
                 some.add(rest.remove(random.nextInt(rest.size())));
             }
@@ -199,12 +218,12 @@
         for (boolean anew = false; probe.target == null; ) {
             if (round.isEmpty()) {
                 if (anew) {
-                    return;   // nobody is there
+                    return; // nobody is there
                 }
                 anew = true;
                 shuffle();
             }
-            Member m = round.isEmpty() ? null : round.remove(round.size() - 1);   // one that has gone is passed over
+            Member m = round.isEmpty() ? null : round.remove(round.size() - 1); // one that has gone is passed over
             if (m != null && m.there() && roll.holds(m)) {
                 probe.target = m;
                 probe.number = ++numbers;
@@ -226,13 +245,15 @@
 
     /** A suspect hears of it first of all (Lifeguard's buddy system). */
     private void ping(Member m, long number) {
-        out.add(new Message.Sent(m.name, new Message.Ping(number, m.name),
-                m.standing == Standing.SUSPECT ? List.of(roll.of(m)) : List.of()));
+        out.add(new Message.Sent(
+                m.name,
+                new Message.Ping(number, m.name),
+                m.standing == MemberState.SUSPECT ? List.of(roll.of(m)) : List.of()));
     }
 
     private void askOthers() {
         probe.asked = true;
-        for (Member m : some(tempo.indirect(), m -> m.standing == Standing.ALIVE && m != probe.target)) {
+        for (Member m : some(tempo.indirect(), m -> m.standing == MemberState.ALIVE && m != probe.target)) {
             probe.helpers++;
             send(m.name, new Message.PingFor(probe.number, probe.target.name));
         }
@@ -244,12 +265,15 @@
         double scale = Math.max(1, present() / 32.0);
         nextSync = now + (long) (tempo.syncNs() * scale * (0.75 + 0.5 * random.nextDouble()));
         List<Member> present = some(1, Member::there);
-        List<String> lost = new ArrayList<>(roll.notAlive().stream().filter(m -> m.standing == Standing.DEAD)
-                .map(m -> m.address).toList());
-        seeds.stream().filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
+        List<String> lost = new ArrayList<>(roll.notAlive().stream()
+                .filter(m -> m.standing == MemberState.DEAD)
+                .map(m -> m.address)
+                .toList());
+        seeds.stream()
+                .filter(s -> !s.equals(address) && roll.all().stream().noneMatch(m -> m.there() && m.address.equals(s)))
                 .forEach(lost::add);
         if (present.isEmpty()) {
-            nextSync = Math.min(nextSync, now + 2 * tempo.periodNs());   // alone: joins as soon as a seed is there
+            nextSync = Math.min(nextSync, now + 2 * tempo.periodNs()); // alone: joins as soon as a seed is there
             syncs.addAll(lost.isEmpty() ? List.of() : List.of(lost.get(random.nextInt(lost.size()))));
             return;
         }
@@ -274,8 +298,14 @@
             Member m = roll.get(p.target());
             if (m != null && relays.size() < MOST_RELAYS) {
                 long number = ++numbers;
-                relays.put(number, new Relay(from, p.number(), now + tempo.ackNs() * 4 / 5, now + tempo.periodNs() * 2,
-                        new boolean[1]));
+                relays.put(
+                        number,
+                        new Relay(
+                                from,
+                                p.number(),
+                                now + tempo.ackNs() * 4 / 5,
+                                now + tempo.periodNs() * 2,
+                                new boolean[1]));
                 ping(m, number);
             }
         } else if (message instanceof Message.Ack a) {
@@ -293,22 +323,22 @@
     }
 
     /** A rumour that travelled along. */
-    public void hear(Rumour r, long now) {
+    public void hear(MembershipUpdate r, long now) {
         if (!left) {
             roll.hear(r, now);
         }
     }
 
     /** Another's whole state. */
-    public void merge(List<Rumour> state, long now) {
+    public void merge(List<MembershipUpdate> state, long now) {
         if (!left) {
             roll.merge(state, now);
         }
     }
 
     /** The whole state, with this member. */
-    public List<Rumour> state() {
-        return roll.state(left ? Standing.LEFT : Standing.ALIVE);
+    public List<MembershipUpdate> state() {
+        return roll.state(left ? MemberState.LEFT : MemberState.ALIVE);
     }
 
     // ---------------------------------------------------------------- what goes out
@@ -334,7 +364,7 @@
     }
 
     /** Rumours to go along with a message, so many bytes at most. */
-    public List<Rumour> along(int bytes) {
+    public List<MembershipUpdate> along(int bytes) {
         return roll.rumours().take(bytes, tempo.transmits(present()));
     }
 
@@ -351,15 +381,21 @@
 
     /** Who is at that address; empty where nobody is known to be. */
     public String nameAt(String at) {
-        return roll.all().stream().filter(m -> m.address.equals(at)).map(m -> m.name).findFirst().orElse("");
+        return roll.all().stream()
+                .filter(m -> m.address.equals(at))
+                .map(m -> m.name)
+                .findFirst()
+                .orElse("");
     }
 
     /** Every member but this one, as it is held, for those who look. */
-    public List<Rumour> seen() {
-        return roll.all().stream().map(m -> new Rumour(m.name, m.address, m.standing, m.incarnation, m.name)).toList();
+    public List<MembershipUpdate> seen() {
+        return roll.all().stream()
+                .map(m -> new MembershipUpdate(m.name, m.address, m.standing, m.incarnation, m.name))
+                .toList();
     }
 
-    /** How ill this member takes itself to be, 0 to {@link Tempo#mostHealth}. */
+    /** How ill this member takes itself to be, 0 to {@link GossipTimings#mostHealth}. */
     public int health() {
         return health;
     }
@@ -371,7 +407,7 @@
 
     /** Says good-bye: to some at once, from whom it travels on; after that nothing is done any more. */
     public void leave() {
-        Rumour goodBye = roll.own(Standing.LEFT);
+        MembershipUpdate goodBye = roll.own(MemberState.LEFT);
         roll.rumours().say(self, goodBye);
         for (Member m : some(tempo.transmits(present()), Member::there)) {
             out.add(new Message.Sent(m.name, new Message.Ping(++numbers, m.name), List.of(goodBye)));
--- a/src/main/java/elderseam/gossip/Codec.java
+++ b/src/main/java/elderseam/gossip/PacketCodec.java
@@ -11,10 +11,10 @@
  * Packets as bytes, big-endian; docs/gossip.md has the layout. What can't be read is null and says nothing of why: it comes
  * from whoever could reach the port. Names are 1 to 64 of {@code A-Za-z0-9._-}, addresses up to 64 printable characters.
  */
-public final class Codec {
-    private static final int LONGEST = 64, MOST = 4_096;   // characters of a name; rumours, and claims, of one packet
+public final class PacketCodec {
+    private static final int LONGEST = 64, MOST = 4_096; // characters of a name; rumours, and claims, of one packet
 
-    private Codec() {}
+    private PacketCodec() {}
 
     public static byte[] encode(Packet p, int most) {
         ByteBuffer b = ByteBuffer.allocate(most);
@@ -35,14 +35,14 @@
             b.put((byte) 5);
         }
         b.putShort((short) p.rumours().size());
-        for (Rumour r : p.rumours()) {
+        for (MembershipUpdate r : p.rumours()) {
             text(b, r.member());
             text(b, r.address());
             b.put((byte) r.standing().ordinal()).putLong(r.incarnation());
             text(b, r.from());
         }
         b.putShort((short) p.claims().size());
-        for (Signed s : p.claims()) {
+        for (SignedReport s : p.claims()) {
             sealed(b, s.claim(), s.wallMs(), s.key());
             b.put(s.seal());
         }
@@ -52,7 +52,7 @@
     }
 
     /** What a claim's seal is over. */
-    public static byte[] sealed(Claim c, long wallMs, int key) {
+    public static byte[] sealed(HealthReport c, long wallMs, int key) {
         ByteBuffer b = ByteBuffer.allocate(128);
         sealed(b, c, wallMs, key);
         byte[] bytes = new byte[b.position()];
@@ -60,10 +60,16 @@
         return bytes;
     }
 
-    private static void sealed(ByteBuffer b, Claim c, long wallMs, int key) {
+    private static void sealed(ByteBuffer b, HealthReport c, long wallMs, int key) {
         text(b, c.reporter());
-        b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte) c.state().ordinal());
-        b.putInt(c.waitMs()).putInt(c.calls()).putInt(c.failures()).putInt(c.windowMs()).putLong(wallMs).putInt(key);
+        b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte)
+                c.state().ordinal());
+        b.putInt(c.waitMs())
+                .putInt(c.calls())
+                .putInt(c.failures())
+                .putInt(c.windowMs())
+                .putLong(wallMs)
+                .putInt(key);
     }
 
     /** A packet, or null: nothing may be left over. */
@@ -74,25 +80,30 @@
             if (m == null || rumours < 0 || rumours > MOST) {
                 return null;
             }
-            List<Rumour> heard = new ArrayList<>(Math.min(rumours, 64));
+            List<MembershipUpdate> heard = new ArrayList<>(Math.min(rumours, 64));
             for (int i = 0; i < rumours; i++) {
                 String member = name(b), address = address(b);
                 int standing = b.get();
                 long incarnation = b.getLong();
                 String from = name(b);
-                if (member == null || address == null || from == null || standing < 0 || standing > 3 || incarnation < 0
-                        || incarnation > Long.MAX_VALUE / 2) {   // outbidding it must not run over
+                if (member == null
+                        || address == null
+                        || from == null
+                        || standing < 0
+                        || standing > 3
+                        || incarnation < 0
+                        || incarnation > Long.MAX_VALUE / 2) { // outbidding it must not run over
                     return null;
                 }
-                heard.add(new Rumour(member, address, Standing.values()[standing], incarnation, from));
+                heard.add(new MembershipUpdate(member, address, MemberState.values()[standing], incarnation, from));
             }
             int claims = b.getShort();
             if (claims < 0 || claims > MOST) {
                 return null;
             }
-            List<Signed> told = new ArrayList<>(Math.min(claims, 64));
+            List<SignedReport> told = new ArrayList<>(Math.min(claims, 64));
             for (int i = 0; i < claims; i++) {
-                Signed s = claim(b);
+                SignedReport s = claim(b);
                 if (s == null) {
                     return null;
                 }
@@ -110,7 +121,9 @@
             case 1, 2 -> {
                 long number = b.getLong();
                 String target = name(b);
-                return target == null ? null : kind == 1 ? new Message.Ping(number, target) : new Message.PingFor(number, target);
+                return target == null
+                        ? null
+                        : kind == 1 ? new Message.Ping(number, target) : new Message.PingFor(number, target);
             }
             case 3 -> {
                 return new Message.Ack(b.getLong());
@@ -130,19 +143,38 @@
         }
     }
 
-    private static Signed claim(ByteBuffer b) {
+    private static SignedReport claim(ByteBuffer b) {
         String reporter = name(b);
         long incarnation = b.getLong(), number = b.getLong(), destination = b.getLong();
         int state = b.get(), wait = b.getInt(), calls = b.getInt(), failures = b.getInt(), window = b.getInt();
         long wall = b.getLong();
         int key = b.getInt();
-        byte[] seal = new byte[Signed.SEAL];
+        byte[] seal = new byte[SignedReport.SEAL];
         b.get(seal);
-        if (reporter == null || state < 0 || state > 2 || wait < 0 || calls < 0 || failures < 0 || failures > calls || window < 0) {
+        if (reporter == null
+                || state < 0
+                || state > 2
+                || wait < 0
+                || calls < 0
+                || failures < 0
+                || failures > calls
+                || window < 0) {
             return null;
         }
-        return new Signed(new Claim(reporter, incarnation, number, destination, Claim.State.values()[state], wait, calls, failures,
-                window), wall, key, seal);
+        return new SignedReport(
+                new HealthReport(
+                        reporter,
+                        incarnation,
+                        number,
+                        destination,
+                        HealthReport.State.values()[state],
+                        wait,
+                        calls,
+                        failures,
+                        window),
+                wall,
+                key,
+                seal);
     }
 
     /** A text of up to 64 characters and its length before it. */
@@ -161,8 +193,15 @@
 
     /** Whether that may be a member's name. */
     public static boolean isName(String text) {
-        return !text.isEmpty() && text.length() <= LONGEST && text.chars().allMatch(c -> c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-                || c >= '0' && c <= '9' || c == '.' || c == '_' || c == '-');
+        return !text.isEmpty()
+                && text.length() <= LONGEST
+                && text.chars()
+                        .allMatch(c -> c >= 'a' && c <= 'z'
+                                || c >= 'A' && c <= 'Z'
+                                || c >= '0' && c <= '9'
+                                || c == '.'
+                                || c == '_'
+                                || c == '-');
     }
 
     private static String address(ByteBuffer b) {
--- a/src/main/java/elderseam/gossip/Spread.java
+++ b/src/main/java/elderseam/gossip/PiggybackQueue.java
@@ -14,8 +14,8 @@
  * least goes first, of those the weightiest, then the newest. Bounded by the number of subjects, {@code most}: beyond it what was said most often
  * gives way.
  */
-final class Spread<T> {
-    private static final int LEAST = 24;   // bytes: nothing that travels along is shorter
+final class PiggybackQueue<T> {
+    private static final int LEAST = 24; // bytes: nothing that travels along is shorter
 
     private static final class Entry<T> {
         final String subject;
@@ -33,10 +33,12 @@
     private final Map<String, Entry<T>> entries = new HashMap<>();
     /** Next to be said first; no two have one age. */
     private final TreeSet<Entry<T>> order = new TreeSet<>(Comparator.<Entry<T>>comparingInt(e -> e.said)
-            .thenComparingInt(e -> -e.weight).thenComparingLong(e -> -e.age));
+            .thenComparingInt(e -> -e.weight)
+            .thenComparingLong(e -> -e.age));
+
     private long clock;
 
-    Spread(int most, ToIntFunction<T> size) {
+    PiggybackQueue(int most, ToIntFunction<T> size) {
         this.most = most;
         this.size = size;
     }
--- a/src/main/java/elderseam/gossip/trust/Keyring.java
+++ b/src/main/java/elderseam/gossip/security/Keyring.java
@@ -1,13 +1,13 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
-import elderseam.gossip.Trust;
+import elderseam.gossip.PeerVerifier;
 import inet.ipaddr.AddressStringException;
 import inet.ipaddr.IPAddress;
 import inet.ipaddr.IPAddressString;
 import java.security.PublicKey;
 
 /** This instance's key, and the roster as it is now. */
-public final class Keyring implements Trust {
+public final class Keyring implements PeerVerifier {
     private final KeyFile own;
     private Roster roster;
 
@@ -51,7 +51,7 @@
         }
         String host = address.substring(0, colon);
         host = host.startsWith("[") && host.endsWith("]") ? host.substring(1, host.length() - 1) : host;
-        if (!host.matches("[0-9a-fA-F.:]+")) {   // a name would be looked up
+        if (!host.matches("[0-9a-fA-F.:]+")) { // a name would be looked up
             return false;
         }
         try {
--- a/src/main/java/elderseam/upgrade/Giving.java
+++ b/src/main/java/elderseam/handover/HandoverSender.java
@@ -1,16 +1,26 @@
-package elderseam.upgrade;
+package elderseam.handover;
 
 /**
  * The older process's part of a hand-over, as decisions without I/O: each event gives the step that follows, whatever the order
  * in which events come. One thread owns it.
  */
-public final class Giving {
+public final class HandoverSender {
     /** OWNER until asked; GIVEN while the newer process takes over and may yet fail; GONE once it has. */
-    public enum State { OWNER, GIVEN, GONE }
+    public enum State {
+        OWNER,
+        GIVEN,
+        GONE
+    }
 
     /** GIVE: stop, let the folder go and tell all. RESUME: own it again. LEAVE: the other one has it; settle and end.
      *  FAIL: nobody serves any more; end, so that the platform starts one. */
-    public enum Step { NONE, GIVE, RESUME, LEAVE, FAIL }
+    public enum Step {
+        NONE,
+        GIVE,
+        RESUME,
+        LEAVE,
+        FAIL
+    }
 
     private State state = State.OWNER;
 
--- a/src/main/java/elderseam/module/AnswerLoss.java
+++ b/src/main/java/elderseam/policy/AnswerLoss.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /** Estimates whether the network loses answers, over all destinations: a rolling window of answers. Not thread-safe. */
 final class AnswerLoss {
--- a/src/main/java/elderseam/module/BreakerState.java
+++ b/src/main/java/elderseam/policy/BreakerState.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /** The states of a {@link CircuitBreaker}; their ordinals are stored in the snapshot and must not change. */
 enum BreakerState {
--- a/src/main/java/elderseam/module/CircuitBreaker.java
+++ b/src/main/java/elderseam/policy/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * Circuit breaker of one endpoint group. Closed, calls pass as the ticket pool allows; tripped, it is open for a
--- a/src/main/java/elderseam/module/Brain.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import java.util.List;
 import java.util.function.BiConsumer;
@@ -11,7 +11,7 @@
  * a {@link CircuitBreaker}, a {@link TicketPool} and a {@link RateController}; docs/design.md describes how they act
  * together. Not thread-safe: all calls come from one thread.
  */
-public final class Brain implements Sender.Events {
+public final class DispatchPolicy implements Sender.Events {
     private final PolicyContext context;
     final EndpointDirectory directory;
     final RequestTable requests;
@@ -29,7 +29,7 @@
      * @param seed of the random numbers
      * @param actions carries out what is decided, within the call that decided it
      */
-    public Brain(Sender.Settings settings, long seed, Sender.Actions actions) {
+    public DispatchPolicy(Sender.Settings settings, long seed, Sender.Actions actions) {
         context = new PolicyContext(settings, seed, actions);
         directory = new EndpointDirectory(context);
         requests = new RequestTable(context);
--- a/src/main/java/elderseam/module/EndpointGroup.java
+++ b/src/main/java/elderseam/policy/EndpointGroup.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * The endpoints that share one circuit breaker, ticket pool and rate controller: all of a destination, or a single
--- a/src/main/java/elderseam/module/EndpointListSubscription.java
+++ b/src/main/java/elderseam/policy/EndpointListSubscription.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /** Subscribes to updates of the endpoint list, where the settings ask for it, and again after a failure. */
 final class EndpointListSubscription {
--- a/src/main/java/elderseam/module/EndpointState.java
+++ b/src/main/java/elderseam/policy/EndpointState.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /** A listed endpoint. Plain state; confined to the policy's thread. */
 final class EndpointState {
--- a/src/main/java/elderseam/module/LatencyTracker.java
+++ b/src/main/java/elderseam/policy/LatencyTracker.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * Latencies and times of the delivered calls of one endpoint group: a lasting baseline and a recent mean, both
--- a/src/main/java/elderseam/module/OutlierDetector.java
+++ b/src/main/java/elderseam/policy/OutlierDetector.java
@@ -1,6 +1,6 @@
-package elderseam.module;
+package elderseam.policy;
 
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Result;
 
 /**
  * Finds out what failed: judges each outcome and each call without an answer, ejects the endpoint and tells the
--- a/src/main/java/elderseam/module/RateController.java
+++ b/src/main/java/elderseam/policy/RateController.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * Rate of the calls to one endpoint group: a token bucket whose pace falls when the destination answers that it is
--- a/src/main/java/elderseam/module/RateEstimate.java
+++ b/src/main/java/elderseam/policy/RateEstimate.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * What is known of the rate that one endpoint group takes, in calls a second. Estimates only; confined to the
--- a/src/main/java/elderseam/module/RequestTable.java
+++ b/src/main/java/elderseam/policy/RequestTable.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/elderseam/module/RetryBudget.java
+++ b/src/main/java/elderseam/policy/RetryBudget.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /**
  * How many retries a destination may get for the first attempts it got: a token bucket as in Finagle's RetryBudget.
--- a/src/main/java/elderseam/module/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -1,6 +1,6 @@
-package elderseam.module;
+package elderseam.policy;
 
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Result;
 
 /**
  * Decides whether, when and where a request may be attempted again, within its idempotency and the destination's
--- a/src/main/java/elderseam/module/TokenBucket.java
+++ b/src/main/java/elderseam/policy/TokenBucket.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 /** A token bucket: tokens come in at a rate up to a limit, and are taken one by one. Not thread-safe. */
 final class TokenBucket {
--- a/src/main/java/elderseam/module/package-info.java
+++ b/src/main/java/elderseam/policy/package-info.java
@@ -1,6 +1,6 @@
 /**
  * The policy: every decision on the endpoint of an attempt, on retries and on rejections, without I/O, threads or
- * clocks. {@link elderseam.module.Brain} is the entry. The host tells it events with their times and carries out the
+ * clocks. {@link elderseam.policy.DispatchPolicy} is the entry. The host tells it events with their times and carries out the
  * actions it asks for; everything is confined to the one thread that tells events.
  *
  * <p>The files that decide, and are named under {@code policy} in deploy/balancer.toml: CircuitBreaker (whether a
@@ -10,4 +10,4 @@
  * hangs). The others hold state, statistics, views and the snapshot, and route events; IdleConnectionPolicy decides
  * only how long idle connections are kept.
  */
-package elderseam.module;
+package elderseam.policy;
--- a/src/main/java/elderseam/rules/lang/Lexer.java
+++ b/src/main/java/elderseam/rules/cel/Lexer.java
@@ -1,4 +1,4 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -8,8 +8,9 @@
 
 /** Text to tokens, by the lexis of the CEL specification ("Syntax"): numbers, strings plain, raw, of bytes, of three quotes. */
 final class Lexer {
-    private static final List<String> SIGNS = List.of("==", "!=", "<=", ">=", "&&", "||", "<", ">", "+", "-", "*", "/", "%", "!", "?", ":", ".",
-            ",", "(", ")", "[", "]", "{", "}");
+    private static final List<String> SIGNS = List.of(
+            "==", "!=", "<=", ">=", "&&", "||", "<", ">", "+", "-", "*", "/", "%", "!", "?", ":", ".", ",", "(", ")",
+            "[", "]", "{", "}");
 
     private final String text;
     private int at;
@@ -18,7 +19,7 @@
         this.text = text;
     }
 
-    static List<Token> tokens(String text) throws FaultException {
+    static List<Token> tokens(String text) throws ExpressionException {
         Lexer l = new Lexer(text);
         List<Token> all = new ArrayList<>();
         do {
@@ -27,15 +28,15 @@
         return all;
     }
 
-    private FaultException fault(int offset, String words) {
-        return new FaultException(Fault.at(text, offset, words));
+    private ExpressionException fault(int offset, String words) {
+        return new ExpressionException(ExpressionFault.at(text, offset, words));
     }
 
     private char peek(int ahead) {
         return at + ahead < text.length() ? text.charAt(at + ahead) : '\0';
     }
 
-    private Token next() throws FaultException {
+    private Token next() throws ExpressionException {
         while (at < text.length() && (" \t\n\r\f".indexOf(peek(0)) >= 0 || peek(0) == '/' && peek(1) == '/')) {
             int end = text.indexOf('\n', at);
             at = peek(0) != '/' ? at + 1 : end < 0 ? text.length() : end;
@@ -75,7 +76,7 @@
         return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_';
     }
 
-    private Object number() throws FaultException {
+    private Object number() throws ExpressionException {
         int from = at;
         boolean hex = peek(0) == '0' && (peek(1) == 'x' || peek(1) == 'X');
         at += hex ? 2 : 0;
@@ -107,10 +108,12 @@
             }
             if (peek(0) == 'u' || peek(0) == 'U') {
                 at++;
-                return new Uint(Long.parseUnsignedLong(digits, hex ? 16 : 10));
+                return new UnsignedLong(Long.parseUnsignedLong(digits, hex ? 16 : 10));
             }
             // the least int is written as a negation: its digits alone are one too many
-            return hex || !digits.equals("9223372036854775808") ? (Object) Long.parseLong(digits, hex ? 16 : 10) : TOO_LARGE_BY_ONE;
+            return hex || !digits.equals("9223372036854775808")
+                    ? (Object) Long.parseLong(digits, hex ? 16 : 10)
+                    : TOO_LARGE_BY_ONE;
         } catch (NumberFormatException e) {
             throw fault(from, "a number that 64 bits do not hold");
         }
@@ -129,12 +132,14 @@
         return !twice && (peek(n) == '"' || peek(n) == '\'') ? n : -1;
     }
 
-    private Object string(int prefix) throws FaultException {
+    private Object string(int prefix) throws ExpressionException {
         int from = at;
         String letters = text.substring(at, at + prefix).toLowerCase(Locale.ROOT);
         at += prefix;
         boolean raw = letters.contains("r"), bytes = letters.contains("b");
-        String quote = text.startsWith("\"\"\"", at) || text.startsWith("'''", at) ? text.substring(at, at + 3) : text.substring(at, at + 1);
+        String quote = text.startsWith("\"\"\"", at) || text.startsWith("'''", at)
+                ? text.substring(at, at + 3)
+                : text.substring(at, at + 1);
         at += quote.length();
         StringBuilder s = new StringBuilder();
         ByteArrayOutputStream b = new ByteArrayOutputStream();
@@ -152,10 +157,10 @@
             }
         }
         at += quote.length();
-        return bytes ? new Bytes(b.toByteArray()) : s.toString();
+        return bytes ? new ByteSequence(b.toByteArray()) : s.toString();
     }
 
-    private void escape(boolean bytes, StringBuilder s, ByteArrayOutputStream b) throws FaultException {
+    private void escape(boolean bytes, StringBuilder s, ByteArrayOutputStream b) throws ExpressionException {
         int from = at++;
         char c = peek(0);
         at++;
@@ -180,13 +185,13 @@
         }
         s.appendCodePoint(code);
         if (bytes && (c == 'x' || c == 'X' || isDigit(c))) {
-            b.write(code);   // an octet, not a character
+            b.write(code); // an octet, not a character
         } else {
             b.writeBytes(Character.toString(code).getBytes(StandardCharsets.UTF_8));
         }
     }
 
-    private int digits(int count, int radix, int from) throws FaultException {
+    private int digits(int count, int radix, int from) throws ExpressionException {
         int value = 0;
         for (int i = 0; i < count; i++, at++) {
             int d = peek(0) < 128 ? Character.digit(peek(0), radix) : -1;
--- a/src/main/java/elderseam/rules/lang/Signatures.java
+++ b/src/main/java/elderseam/rules/cel/Signatures.java
@@ -1,14 +1,14 @@
-package elderseam.rules.lang;
+package elderseam.rules.cel;
 
-import static elderseam.rules.lang.Type.Plain.BOOL;
-import static elderseam.rules.lang.Type.Plain.BYTES;
-import static elderseam.rules.lang.Type.Plain.DOUBLE;
-import static elderseam.rules.lang.Type.Plain.DURATION;
-import static elderseam.rules.lang.Type.Plain.DYN;
-import static elderseam.rules.lang.Type.Plain.INT;
-import static elderseam.rules.lang.Type.Plain.STRING;
-import static elderseam.rules.lang.Type.Plain.TIMESTAMP;
-import static elderseam.rules.lang.Type.Plain.UINT;
+import static elderseam.rules.cel.Type.Plain.BOOL;
+import static elderseam.rules.cel.Type.Plain.BYTES;
+import static elderseam.rules.cel.Type.Plain.DOUBLE;
+import static elderseam.rules.cel.Type.Plain.DURATION;
+import static elderseam.rules.cel.Type.Plain.DYN;
+import static elderseam.rules.cel.Type.Plain.INT;
+import static elderseam.rules.cel.Type.Plain.STRING;
+import static elderseam.rules.cel.Type.Plain.TIMESTAMP;
+import static elderseam.rules.cel.Type.Plain.UINT;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -74,8 +74,17 @@
         }
         put("matches", BOOL, STRING, STRING);
         conversions();
-        for (String f : List.of("getFullYear", "getMonth", "getDayOfYear", "getDayOfMonth", "getDate", "getDayOfWeek", "getHours", "getMinutes",
-                "getSeconds", "getMilliseconds")) {
+        for (String f : List.of(
+                "getFullYear",
+                "getMonth",
+                "getDayOfYear",
+                "getDayOfMonth",
+                "getDate",
+                "getDayOfWeek",
+                "getHours",
+                "getMinutes",
+                "getSeconds",
+                "getMilliseconds")) {
             put("()" + f, INT, TIMESTAMP);
             put("()" + f, INT, TIMESTAMP, STRING);
         }
--- a/src/main/java/elderseam/emulator/Draws.java
+++ b/src/main/java/elderseam/testkit/emulator/RandomStreams.java
@@ -1,4 +1,4 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -6,17 +6,20 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Random numbers, a stream for each name, so that what draws more from one shifts no other. */
-final class Draws {
+final class RandomStreams {
     private final long seed;
     private final Map<String, UniformRandomProvider> streams = new HashMap<>();
 
-    Draws(long seed) {
+    RandomStreams(long seed) {
         this.seed = seed;
     }
 
     /** The stream of that name; the same one each time. */
     UniformRandomProvider of(String name) {
-        return streams.computeIfAbsent(name, n -> RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mixed(seed), mixed(seed ^ 0x5DEECE66DL * n.hashCode())}));
+        return streams.computeIfAbsent(
+                name,
+                n -> RandomSource.XO_RO_SHI_RO_128_PP.create(
+                        new long[] {mixed(seed), mixed(seed ^ 0x5DEECE66DL * n.hashCode())}));
     }
 
     /** Which chance an attempt of a message meets hangs on both alone: it is the same whatever else a policy does. */
--- a/src/main/java/elderseam/emulator/Tally.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -1,14 +1,14 @@
-package elderseam.emulator;
+package elderseam.testkit.emulator;
 
-import elderseam.core.Answer;
-import elderseam.core.UpstreamRequest;
-import elderseam.module.Sender;
+import elderseam.core.EndpointCall;
+import elderseam.core.FinalOutcome;
+import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
 /** What a run came to: service, latencies by class, refusals, calls; by the second where messages were born. */
-public final class Tally implements Watcher {
+public final class RunStatistics implements WorldListener {
     private static final long S = 1_000_000_000L, MS = 1_000_000L;
     private static final int WORST_S = 10;
 
@@ -17,11 +17,12 @@
     private final Histogram[] latency = new Histogram[3];
     private int messages, delivered, refused, failed, lost, handed, calls, failedCalls, callsInTrouble;
     private final Map<Long, Integer> troubled = new HashMap<>();
-    private final Map<String, Map<Integer, Long>> connected = new HashMap<>();   // by endpoint and dispatcher: until when at least
+    private final Map<String, Map<Integer, Long>> connected =
+            new HashMap<>(); // by endpoint and dispatcher: until when at least
     private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
     private int connections, mostConnected;
 
-    public Tally(Plan plan) {
+    public RunStatistics(Scenario plan) {
         int n = (int) Math.ceil(plan.seconds()) + 60;
         possible = new double[n];
         worth = new double[n];
@@ -29,7 +30,7 @@
         callsAt = new int[n];
         failedAt = new int[n];
         for (int i = 0; i < 3; i++) {
-            latency[i] = new Histogram(60_000_000, 3);   // microseconds up to a minute
+            latency[i] = new Histogram(60_000_000, 3); // microseconds up to a minute
         }
     }
 
@@ -47,14 +48,14 @@
     }
 
     @Override
-    public void answered(long now, Msg m, Answer answer) {
-        if (answer.kind() == Answer.Kind.REFUSED) {
+    public void answered(long now, Msg m, FinalOutcome answer) {
+        if (answer.kind() == FinalOutcome.Kind.REFUSED) {
             refusedAt[second(now)]++;
         }
     }
 
     @Override
-    public void over(long now, Msg m, Answer.Kind kind) {
+    public void over(long now, Msg m, FinalOutcome.Kind kind) {
         if (kind == null) {
             lost++;
             return;
@@ -94,8 +95,8 @@
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, UpstreamRequest.End end) {
-        if (end.status() != UpstreamRequest.Status.DELIVERED && end.status() != UpstreamRequest.Status.FULL) {
+    public void ended(long now, int dispatcher, Msg m, String endpoint, EndpointCall.End end) {
+        if (end.status() != EndpointCall.Status.DELIVERED && end.status() != EndpointCall.Status.FULL) {
             failedCalls++;
             failedAt[second(now)]++;
         }
@@ -188,7 +189,9 @@
         all.put("endpoint_max_over_mean", unevenness());
         for (int i = 0; i < 3; i++) {
             for (double p : new double[] {50, 99, 99.9}) {
-                all.put(Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms", latency[i].getValueAtPercentile(p) / 1_000.0);
+                all.put(
+                        Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms",
+                        latency[i].getValueAtPercentile(p) / 1_000.0);
             }
         }
         return all;
--- a/src/main/java/elderseam/fleet/rig/FaultProxy.java
+++ b/src/main/java/elderseam/testkit/faults/FaultProxy.java
@@ -1,4 +1,4 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -13,19 +13,20 @@
 
 /**
  * The address at which one party is reached by all others: each connection is led on to where that party listens, as far as
- * the {@link Network} lets it. Two threads a connection; a fleet of sixteen has some hundreds.
+ * the {@link LinkTable} lets it. Two threads a connection; a fleet of sixteen has some hundreds.
  */
 final class FaultProxy implements Closeable {
     private static final int CHUNK = 16 << 10;
 
-    private final Network network;
+    private final LinkTable network;
     private final String to;
     private final InetSocketAddress target;
     private final Supplier<Map<String, Long>> pids;
     private final ServerSocket server;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    FaultProxy(Network network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids) throws IOException {
+    FaultProxy(LinkTable network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
+            throws IOException {
         this.network = network;
         this.to = to;
         this.target = target;
@@ -63,13 +64,13 @@
         try {
             in.setTcpNoDelay(true);
             String from = SocketOwner.find(in.getPort(), server.getLocalPort(), pids.get());
-            network.pass(from, to);   // a connection comes up only over an open link
+            network.pass(from, to); // a connection comes up only over an open link
             network.pass(to, from);
             out.setTcpNoDelay(true);
             out.connect(target);
             Thread back = start("back", () -> pump(out, in, to, from));
             pump(in, out, from, to);
-            back.join();   // each way ends by itself
+            back.join(); // each way ends by itself
             open.remove(in);
             open.remove(out);
             in.close();
@@ -87,7 +88,7 @@
                 network.pass(sender, receiver);
                 to.getOutputStream().write(chunk, 0, n);
             }
-            network.pass(sender, receiver);   // the end of a process shows no sooner than its bytes would
+            network.pass(sender, receiver); // the end of a process shows no sooner than its bytes would
             to.shutdownOutput();
         } catch (IOException | InterruptedException e) {
             reset(from);
--- a/src/main/java/elderseam/fleet/rig/Proposals.java
+++ b/src/main/java/elderseam/testkit/faults/VersionProposals.java
@@ -1,6 +1,6 @@
-package elderseam.fleet.rig;
+package elderseam.testkit.faults;
 
-import elderseam.fleet.config.Version;
+import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionContent;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -8,40 +8,50 @@
 import java.util.TreeSet;
 
 /** Versions as an operator proposes them to the members of a cluster, by their second addresses. */
-final class Proposals {
-    private Proposals() {}
+final class VersionProposals {
+    private VersionProposals() {}
 
     /** A value of what a member answers to CONFIG; "" where it says nothing of that. */
-    static String value(Cluster c, String member, String name) throws IOException {
+    static String value(ProcessCluster c, String member, String name) throws IOException {
         return value(c.member(member).told("CONFIG"), name);
     }
 
     private static String value(String answer, String name) {
-        return answer.lines().filter(l -> l.startsWith(name + "=")).map(l -> l.substring(name.length() + 1)).findFirst().orElse("");
+        return answer.lines()
+                .filter(l -> l.startsWith(name + "="))
+                .map(l -> l.substring(name.length() + 1))
+                .findFirst()
+                .orElse("");
     }
 
     /** Asks a member to propose a file's version on top of the latest it knows; the hash, "" where it can't be asked now. */
-    static String propose(Cluster c, String name, Path file, String note) throws IOException {
+    static String propose(ProcessCluster c, String name, Path file, String note) throws IOException {
         if (!c.member(name).alive()) {
             return "";
         }
         String latest = value(c, name, "latest").split(" ")[0];
-        String answer = latest.isEmpty() ? "" : c.member(name).told("CONFIG PROPOSE " + latest + " "
-                + Version.hash(VersionContent.read(file)).substring(0, 12) + " " + file + " " + note);
+        String answer = latest.isEmpty()
+                ? ""
+                : c.member(name)
+                        .told("CONFIG PROPOSE " + latest + " "
+                                + ConfigurationVersion.hash(VersionContent.read(file))
+                                        .substring(0, 12) + " " + file + " " + note);
         c.history().add("propose", "at", name, "answer", answer.strip());
         return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
     }
 
     /** Waits until all living members act on one version that is the latest, none in doubt and nothing pending; its hash, or an error after {@code byNs}. */
-    static String agreed(Cluster c, long byNs) throws IOException {
+    static String agreed(ProcessCluster c, long byNs) throws IOException {
         while (true) {
             Set<String> acting = new TreeSet<>();
             boolean sure = true;
             for (String g : c.group()) {
                 if (c.member(g).alive()) {
-                    String s = c.member(g).told("CONFIG");   // one answer: its lines are of one moment
+                    String s = c.member(g).told("CONFIG"); // one answer: its lines are of one moment
                     acting.add(value(s, "acting"));
-                    sure &= value(s, "acting").equals(value(s, "latest")) && value(s, "doubt").equals("no") && value(s, "pending").equals("none");
+                    sure &= value(s, "acting").equals(value(s, "latest"))
+                            && value(s, "doubt").equals("no")
+                            && value(s, "pending").equals("none");
                 }
             }
             if (sure && acting.size() == 1) {
@@ -50,7 +60,7 @@
             if (System.nanoTime() > byNs) {
                 throw new IOException("the members do not agree on a version: " + acting);
             }
-            Cluster.pause(20);   // members are asked; they tell nothing unasked
+            ProcessCluster.pause(20); // members are asked; they tell nothing unasked
         }
     }
 }
--- a/src/main/java/elderseam/gossip/trial/Dispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -1,11 +1,11 @@
-package elderseam.gossip.trial;
-
-import elderseam.emulator.Policies;
-import elderseam.emulator.VirtualTime;
-import elderseam.gossip.Agent;
-import elderseam.gossip.Claim;
-import elderseam.module.Brain;
-import elderseam.module.Sender;
+package elderseam.testkit.gossip;
+
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.HealthReport;
+import elderseam.policy.DispatchPolicy;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.Policies;
+import elderseam.testkit.emulator.VirtualTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,12 +17,20 @@
  * against the rules as it does it: one copy out, no second try of a once-only message that may have run, no call in a told
  * wait, no more calls than slots.
  */
-final class Dispatcher implements Sender.Actions, Fleet.Dispatching {
+final class SimulatedDispatcher implements Sender.Actions, SimulatedFleet.Dispatching {
     private static final long MS = 1_000_000, S = 1_000 * MS;
     private static final List<Sender.MessageClass> CLASSES = Policies.CLASSES;
 
     /** What it came to: of all messages, by worth; {@code broken}: rules broken. */
-    record Tally(double worth, double possible, int messages, int calls, int failedCalls, int refusals, int failures, int broken) {}
+    record Tally(
+            double worth,
+            double possible,
+            int messages,
+            int calls,
+            int failedCalls,
+            int refusals,
+            int failures,
+            int broken) {}
 
     private static final class Held {
         final String id;
@@ -41,21 +49,27 @@
     }
 
     private final VirtualTime time;
-    private final Map<Long, Partner> partners;
-    private final Brain brain;
+    private final Map<Long, SimulatedDestination> partners;
+    private final DispatchPolicy brain;
     private final SplittableRandom random;
-    private final Map<Long, Double> shares = new HashMap<>();   // calls a second that its clients want of a partner
+    private final Map<Long, Double> shares = new HashMap<>(); // calls a second that its clients want of a partner
     private final double all;
     private final int slots;
     private final String name;
     private final Map<String, Held> held = new HashMap<>();
     private final Map<Long, Long> waits = new HashMap<>();
-    private final List<Runnable> after = new ArrayList<>();   // timers asked for in an event
+    private final List<Runnable> after = new ArrayList<>(); // timers asked for in an event
     private int ids, out, messages, calls, failedCalls, refusals, failures, broken;
     private double worth, possible;
     private long until;
 
-    Dispatcher(String name, VirtualTime time, Map<Long, Partner> partners, int senders, Map<Long, Double> shares, SplittableRandom random) {
+    SimulatedDispatcher(
+            String name,
+            VirtualTime time,
+            Map<Long, SimulatedDestination> partners,
+            int senders,
+            Map<Long, Double> shares,
+            SplittableRandom random) {
         this.name = name;
         this.time = time;
         this.partners = partners;
@@ -63,11 +77,33 @@
         this.all = shares.values().stream().mapToDouble(s -> s).sum();
         this.random = random;
         this.slots = 32;
-        Sender.Settings settings = new Sender.Settings(CLASSES, List.of(new Sender.Kind(false, 1)), List.of(), slots, 400, 6, senders, 0,
-                true, 1, true, false, false, Sender.Rates.EXACT, 2 * S, 250 * MS, Partner.COLD_SHARE, Partner.COLD_NS,
-                Partner.FALL_MULTIPLE, Partner.FALL_NS, 100 * MS, new Sender.Connections(5 * S, 1, 1_500 * MS), new Sender.Prices(0, 0, List.of()));
-        this.brain = new Brain(settings, random.nextLong(), this);
-        List<Sender.Endpoint> list = partners.values().stream().map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
+        Sender.Settings settings = new Sender.Settings(
+                CLASSES,
+                List.of(new Sender.Kind(false, 1)),
+                List.of(),
+                slots,
+                400,
+                6,
+                senders,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                Sender.Rates.EXACT,
+                2 * S,
+                250 * MS,
+                SimulatedDestination.COLD_SHARE,
+                SimulatedDestination.COLD_NS,
+                SimulatedDestination.FALL_MULTIPLE,
+                SimulatedDestination.FALL_NS,
+                100 * MS,
+                new Sender.Connections(5 * S, 1, 1_500 * MS),
+                new Sender.Prices(0, 0, List.of()));
+        this.brain = new DispatchPolicy(settings, random.nextLong(), this);
+        List<Sender.Endpoint> list = partners.values().stream()
+                .map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
                 .toList();
         brain.endpoints(time.now(), Sender.ListKind.WHOLE, list);
     }
@@ -84,7 +120,7 @@
             time.at(at, () -> {
                 double draw = random.nextDouble() * all;
                 long to = 0;
-                for (Partner p : partners.values()) {
+                for (SimulatedDestination p : partners.values()) {
                     to = p.id;
                     draw -= shares.get(p.id);
                     if (draw < 0) {
@@ -92,7 +128,14 @@
                     }
                 }
                 int k = random.nextInt(10);
-                handIn(new Held(name + "-" + ids++, k < 5 ? 0 : k < 8 ? 1 : 2, to, time.now(), time.now() + CLASSES.get(k < 5 ? 0 : k < 8 ? 1 : 2).deadlineNs()),
+                handIn(
+                        new Held(
+                                name + "-" + ids++,
+                                k < 5 ? 0 : k < 8 ? 1 : 2,
+                                to,
+                                time.now(),
+                                time.now()
+                                        + CLASSES.get(k < 5 ? 0 : k < 8 ? 1 : 2).deadlineNs()),
                         false);
                 next();
             });
@@ -105,7 +148,8 @@
             possible += CLASSES.get(m.cls).worth();
         }
         held.put(m.id, m);
-        event(() -> brain.message(time.now(), new Sender.Message(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
+        event(() ->
+                brain.message(time.now(), new Sender.Message(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
     }
 
     /** Each event is a turn of its own. */
@@ -127,7 +171,11 @@
     public void send(String id, String endpoint, long stopAt) {
         Held m = held.get(id);
         long now = time.now();
-        if (m == null || m.out >= 0 || m.maybeRan && m.cls == 2 || now >= m.deadline || now < waits.getOrDefault(m.destination, 0L)
+        if (m == null
+                || m.out >= 0
+                || m.maybeRan && m.cls == 2
+                || now >= m.deadline
+                || now < waits.getOrDefault(m.destination, 0L)
                 || out >= slots) {
             broken++;
             return;
@@ -136,16 +184,17 @@
         m.out = attempt;
         out++;
         calls++;
-        Partner.Reply r = partners.get(m.destination).call(id, attempt, now, m.deadline - now - 50 * MS);
+        SimulatedDestination.Reply r = partners.get(m.destination).call(id, attempt, now, m.deadline - now - 50 * MS);
         boolean lost = r.afterNs() >= stopAt - now - 50 * MS;
         long end = lost ? Math.max(now, stopAt - 50 * MS) : now + r.afterNs();
-        Partner.Reply told = lost ? new Partner.Reply(Sender.Result.TIMEOUT, end - now, 0) : r;
+        SimulatedDestination.Reply told =
+                lost ? new SimulatedDestination.Reply(Sender.Result.TIMEOUT, end - now, 0) : r;
         after.add(() -> time.at(end, () -> ended(m, attempt, endpoint, now, told)));
     }
 
-    private void ended(Held m, int attempt, String endpoint, long start, Partner.Reply r) {
+    private void ended(Held m, int attempt, String endpoint, long start, SimulatedDestination.Reply r) {
         if (m.out != attempt || held.get(m.id) != m && r.result() != Sender.Result.CANCELLED) {
-            return;   // cut short before
+            return; // cut short before
         }
         long now = time.now();
         m.out = -1;
@@ -163,8 +212,18 @@
         if (r.waitNs() > 0) {
             waits.merge(m.destination, now + r.waitNs(), Math::max);
         }
-        event(() -> brain.outcome(now, new Sender.Outcome(m.id, attempt, endpoint, r.result(), now - start, r.waitNs(), false, done,
-                Sender.Report.NONE)));
+        event(() -> brain.outcome(
+                now,
+                new Sender.Outcome(
+                        m.id,
+                        attempt,
+                        endpoint,
+                        r.result(),
+                        now - start,
+                        r.waitNs(),
+                        false,
+                        done,
+                        Sender.Report.NONE)));
     }
 
     @Override
@@ -173,7 +232,14 @@
         if (m != null && m.out == attempt) {
             long now = time.now();
             failedCalls++;
-            after.add(() -> time.at(now, () -> ended(m, attempt, "p" + m.destination, now, new Partner.Reply(Sender.Result.CANCELLED, 0, 0))));
+            after.add(() -> time.at(
+                    now,
+                    () -> ended(
+                            m,
+                            attempt,
+                            "p" + m.destination,
+                            now,
+                            new SimulatedDestination.Reply(Sender.Result.CANCELLED, 0, 0))));
         }
     }
 
@@ -185,7 +251,7 @@
             broken++;
         }
         long at = time.now() + Math.max(retryAfterNs, 200 * MS) + (long) (200 * MS * random.nextDouble());
-        if (at < m.deadline) {   // its client brings it again
+        if (at < m.deadline) { // its client brings it again
             Held again = new Held(m.id, m.cls, m.destination, m.born, m.deadline);
             time.at(at, () -> handIn(again, true));
         }
@@ -221,18 +287,25 @@
     // ---------------------------------------------------------------- its part in the gossip
 
     @Override
-    public List<Agent.Own> own() {
-        List<Agent.Own> all = new ArrayList<>();
-        brain.breakers(time.now(), (id, b) -> all.add(new Agent.Own(id, switch (b.standing()) {
-            case CLOSED -> Claim.State.CLOSED;
-            case HALF_OPEN -> Claim.State.HALF_OPEN;
-            case OPEN -> Claim.State.OPEN;
-        }, (int) (Math.max(0, b.waitNs()) / MS), b.calls(), b.failed())));
+    public List<GossipAgent.Own> own() {
+        List<GossipAgent.Own> all = new ArrayList<>();
+        brain.breakers(
+                time.now(),
+                (id, b) -> all.add(new GossipAgent.Own(
+                        id,
+                        switch (b.standing()) {
+                            case CLOSED -> HealthReport.State.CLOSED;
+                            case HALF_OPEN -> HealthReport.State.HALF_OPEN;
+                            case OPEN -> HealthReport.State.OPEN;
+                        },
+                        (int) (Math.max(0, b.waitNs()) / MS),
+                        b.calls(),
+                        b.failed())));
         return all;
     }
 
     @Override
-    public void advise(long destination, Agent.Word word) {
+    public void advise(long destination, GossipAgent.Word word) {
         brain.advised(time.now(), destination, word.doubt(), word.trying());
     }
 }
--- a/src/main/java/elderseam/gossip/trial/Fleet.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
@@ -1,14 +1,14 @@
-package elderseam.gossip.trial;
+package elderseam.testkit.gossip;
 
-import elderseam.emulator.VirtualTime;
-import elderseam.gossip.Agent;
-import elderseam.gossip.Ceiling;
-import elderseam.gossip.Claim;
-import elderseam.gossip.Codec;
+import elderseam.gossip.GossipAgent;
+import elderseam.gossip.GossipTimings;
+import elderseam.gossip.HealthReport;
+import elderseam.gossip.MemberState;
 import elderseam.gossip.Packet;
-import elderseam.gossip.Standing;
-import elderseam.gossip.Tempo;
-import elderseam.gossip.Trust;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.PeerVerifier;
+import elderseam.gossip.SendRateLimiter;
+import elderseam.testkit.emulator.VirtualTime;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -21,20 +21,20 @@
  * Members on a network of virtual time. Each event stands at a time and has a number, so that one seed gives one course; the
  * network, each member and the choice of delays draw from streams of their own.
  */
-public final class Fleet {
+public final class SimulatedFleet {
     private static final long MS = 1_000_000;
-    private static final int HEAD = 110;   // bytes of an envelope with a short name: seal, key, token, number, clock
+    private static final int HEAD = 110; // bytes of an envelope with a short name: seal, key, token, number, clock
     private static final long LOOK_NS = 250 * MS;
 
     /** What a node's dispatcher tells of its breakers, and is told of others'. */
     interface Dispatching {
-        List<Agent.Own> own();
+        List<GossipAgent.Own> own();
 
-        void advise(long destination, Agent.Word word);
+        void advise(long destination, GossipAgent.Word word);
     }
 
     /** Keys that cost nothing; that nobody here forges is the network's doing. */
-    private static final Trust TRUST = new Trust() {
+    private static final PeerVerifier TRUST = new PeerVerifier() {
         @Override
         public int key() {
             return 1;
@@ -57,13 +57,13 @@
     };
 
     /** A change that one member saw of another. */
-    public record Change(long at, String by, String of, Standing standing) {}
+    public record Change(long at, String by, String of, MemberState standing) {}
 
     private final class Node {
         final String name;
         final int side;
         final long clockOff;
-        Agent agent;
+        GossipAgent agent;
         Dispatching dispatching;
         long tickAt = Long.MAX_VALUE, lives, held, bytes, datagrams;
         boolean up, hung;
@@ -84,7 +84,7 @@
         }
     }
 
-    private final Tempo tempo;
+    private final GossipTimings tempo;
     private final double loss, repeat;
     private final SplittableRandom seeds, network;
     private final VirtualTime time;
@@ -93,11 +93,11 @@
     private boolean parted;
 
     /** {@code loss}: share of datagrams that are lost; {@code repeat}: share that come twice. */
-    public Fleet(int instances, Tempo tempo, double loss, double repeat, long seed) {
+    public SimulatedFleet(int instances, GossipTimings tempo, double loss, double repeat, long seed) {
         this(new VirtualTime(), instances, tempo, loss, repeat, seed);
     }
 
-    Fleet(VirtualTime time, int instances, Tempo tempo, double loss, double repeat, long seed) {
+    SimulatedFleet(VirtualTime time, int instances, GossipTimings tempo, double loss, double repeat, long seed) {
         this.time = time;
         this.tempo = tempo;
         this.loss = loss;
@@ -106,7 +106,8 @@
         this.network = seeds.split();
         for (int i = 0; i < instances; i++) {
             String name = String.format("n%04d", i);
-            nodes.put(name, new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000 * MS));   // clocks two minutes apart
+            nodes.put(
+                    name, new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000 * MS)); // clocks two minutes apart
         }
         nodes.values().forEach(n -> start(n, 0));
     }
@@ -116,8 +117,17 @@
         n.hung = false;
         n.lives++;
         String by = n.name;
-        n.agent = new Agent(n.name, n.name, List.of("n0000", "n0001"), incarnation, tempo, new Ceiling(64 << 10, 100, n.now()), TRUST,
-                n.now(), seeds.split(), (of, standing) -> changes.add(new Change(time.now(), by, of, standing)));
+        n.agent = new GossipAgent(
+                n.name,
+                n.name,
+                List.of("n0000", "n0001"),
+                incarnation,
+                tempo,
+                new SendRateLimiter(64 << 10, 100, n.now()),
+                TRUST,
+                n.now(),
+                seeds.split(),
+                (of, standing) -> changes.add(new Change(time.now(), by, of, standing)));
         n.tickAt = Long.MAX_VALUE;
         flush(n);
     }
@@ -144,17 +154,19 @@
         long start = time.now();
         tie(from, new Dispatching() {
             @Override
-            public List<Agent.Own> own() {
-                return List.of(new Agent.Own(destination, Claim.State.OPEN, 0, 20, 20));
+            public List<GossipAgent.Own> own() {
+                return List.of(new GossipAgent.Own(destination, HealthReport.State.OPEN, 0, 20, 20));
             }
 
             @Override
-            public void advise(long of, Agent.Word word) {
+            public void advise(long of, GossipAgent.Word word) {
                 // what others say is not the matter here
             }
         });
         for (; time.now() - start <= within; pass(10 * MS)) {
-            if (nodes.values().stream().filter(n -> n.up).allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
+            if (nodes.values().stream()
+                    .filter(n -> n.up)
+                    .allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
                 return time.now() - start;
             }
         }
@@ -216,7 +228,7 @@
     }
 
     /** What one member holds of another, or null. */
-    public Standing standing(String by, String of) {
+    public MemberState standing(String by, String of) {
         return nodes.get(by).agent.membership().standing(of);
     }
 
@@ -269,7 +281,7 @@
     }
 
     private void flush(Node n) {
-        for (Agent.Outgoing o : n.agent.sent(n.now())) {
+        for (GossipAgent.Outgoing o : n.agent.sent(n.now())) {
             n.bytes += HEAD + o.bytes().length;
             n.datagrams++;
             carry(n, nodes.get(o.address()), o.bytes());
@@ -281,12 +293,14 @@
         if (next < Long.MAX_VALUE && (next < n.tickAt || n.tickAt < n.now())) {
             n.tickAt = next;
             long life = n.lives;
-            time.at(next - n.clockOff, () -> on(n, life, () -> {
-                if (n.tickAt == next) {
-                    n.tickAt = Long.MAX_VALUE;
-                }
-                n.agent.tick(n.now());
-            }));
+            time.at(
+                    next - n.clockOff,
+                    () -> on(n, life, () -> {
+                        if (n.tickAt == next) {
+                            n.tickAt = Long.MAX_VALUE;
+                        }
+                        n.agent.tick(n.now());
+                    }));
         }
     }
 
@@ -295,7 +309,8 @@
     }
 
     private long delay() {
-        return (long) (MS * (0.5 + 4 * network.nextDouble() * network.nextDouble()));   // now and then one overtakes another
+        return (long)
+                (MS * (0.5 + 4 * network.nextDouble() * network.nextDouble())); // now and then one overtakes another
     }
 
     private void carry(Node from, Node to, byte[] bytes) {
@@ -305,8 +320,17 @@
             boolean lost = network.nextDouble() < loss;
             long at = time.now() + delay();
             if (!lost && to != null && !apart(from, to)) {
-                time.at(at, () -> on(to, to.lives, () ->
-                        to.agent.receive(from.name, Codec.decode(ByteBuffer.wrap(bytes)), to.now(), to.wallMs(), wall)));
+                time.at(
+                        at,
+                        () -> on(
+                                to,
+                                to.lives,
+                                () -> to.agent.receive(
+                                        from.name,
+                                        PacketCodec.decode(ByteBuffer.wrap(bytes)),
+                                        to.now(),
+                                        to.wallMs(),
+                                        wall)));
             }
         }
     }
@@ -319,15 +343,21 @@
         Packet states = a.agent.state(false, a.now());
         a.bytes += whole(states);
         long lifeA = a.lives, wall = a.wallMs();
-        time.at(time.now() + delay(), () -> on(b, b.lives, () -> {
-            Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
-            b.bytes += whole(back);
-            long backWall = b.wallMs();
-            time.at(time.now() + delay(), () -> on(a, lifeA, () -> a.agent.receive(b.name, back, a.now(), a.wallMs(), backWall)));
-        }));
+        time.at(
+                time.now() + delay(),
+                () -> on(b, b.lives, () -> {
+                    Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
+                    b.bytes += whole(back);
+                    long backWall = b.wallMs();
+                    time.at(
+                            time.now() + delay(),
+                            () -> on(a, lifeA, () -> a.agent.receive(b.name, back, a.now(), a.wallMs(), backWall)));
+                }));
     }
 
     private static long whole(Packet p) {
-        return HEAD + p.rumours().stream().mapToInt(r -> r.bytes()).sum() + p.claims().stream().mapToInt(c -> c.bytes()).sum();
+        return HEAD
+                + p.rumours().stream().mapToInt(r -> r.bytes()).sum()
+                + p.claims().stream().mapToInt(c -> c.bytes()).sum();
     }
 }
--- a/src/main/java/elderseam/lab/Run.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -1,12 +1,12 @@
-package elderseam.lab;
+package elderseam.testkit.lab;
 
-import elderseam.emulator.Policies;
-import elderseam.core.Json;
-import elderseam.emulator.Checkers;
-import elderseam.emulator.Plan;
-import elderseam.emulator.Tally;
-import elderseam.emulator.World;
-import elderseam.module.Sender;
+import elderseam.core.JsonValue;
+import elderseam.policy.Sender;
+import elderseam.testkit.emulator.EmulatedWorld;
+import elderseam.testkit.emulator.Policies;
+import elderseam.testkit.emulator.RuleCheckers;
+import elderseam.testkit.emulator.RunStatistics;
+import elderseam.testkit.emulator.Scenario;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -21,16 +21,26 @@
  *
  * @param breakers of each destination that ever had a breaker open: by second 0 closed, 1 trying, 2 open, the worst of all dispatchers
  */
-public record Run(String policy, long seed, Map<String, Double> figures, Map<String, Integer> broken, String words, double[] series, int[] refusals, int[] calls, int[] failed,
-                  Map<Long, byte[]> breakers, Map<String, double[]> latencies) {
+public record ExperimentRun(
+        String policy,
+        long seed,
+        Map<String, Double> figures,
+        Map<String, Integer> broken,
+        String words,
+        double[] series,
+        int[] refusals,
+        int[] calls,
+        int[] failed,
+        Map<Long, byte[]> breakers,
+        Map<String, double[]> latencies) {
     private static final long S = 1_000_000_000L;
     private static final int MOST_TIMELINES = 200;
     static final double[] PERCENTILES = {1, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99, 100};
 
-    public static Run of(Plan plan, String policy, long seed, DoubleConsumer progress) {
-        Tally tally = new Tally(plan);
-        Checkers checkers = new Checkers(plan.fleet().slots());
-        World world = new World(plan, policy, seed, List.of(tally, checkers));
+    public static ExperimentRun of(Scenario plan, String policy, long seed, DoubleConsumer progress) {
+        RunStatistics tally = new RunStatistics(plan);
+        RuleCheckers checkers = new RuleCheckers(plan.fleet().slots());
+        EmulatedWorld world = new EmulatedWorld(plan, policy, seed, List.of(tally, checkers));
         int seconds = (int) Math.ceil(plan.seconds());
         Map<Long, byte[]> lines = new HashMap<>();
         for (int s = 0; s < seconds; s++) {
@@ -57,12 +67,23 @@
             }
             latencies.put(Policies.CLASS_NAMES.get(c), at);
         }
-        return new Run(policy, seed, figures, broken, checkers.words(), cut(tally.series(), seconds), cut(tally.refusals(), seconds), cut(tally.callsASecond(), seconds),
-                cut(tally.failedASecond(), seconds), open, latencies);
+        return new ExperimentRun(
+                policy,
+                seed,
+                figures,
+                broken,
+                checkers.words(),
+                cut(tally.series(), seconds),
+                cut(tally.refusals(), seconds),
+                cut(tally.callsASecond(), seconds),
+                cut(tally.failedASecond(), seconds),
+                open,
+                latencies);
     }
 
     private static void look(Map<Long, byte[]> lines, long d, Sender.Breaker b, int second, int seconds) {
-        byte state = (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
+        byte state =
+                (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
         if (state > 0) {
             byte[] line = lines.computeIfAbsent(d, x -> new byte[seconds]);
             line[second] = (byte) Math.max(line[second], state);
@@ -89,15 +110,17 @@
     /** One line of JSON with the figures; the series are the report's. */
     public String json(Map<String, String> parameters) {
         List<String> all = new ArrayList<>();
-        parameters.forEach((k, v) -> all.add(Json.quoted(k) + ":" + Json.quoted(v)));
-        all.add("\"policy\":" + Json.quoted(policy));
+        parameters.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + JsonValue.quoted(v)));
+        all.add("\"policy\":" + JsonValue.quoted(policy));
         all.add("\"seed\":" + seed);
-        figures.forEach((k, v) -> all.add(Json.quoted(k) + ":" + number(v)));
-        broken.forEach((k, v) -> all.add(Json.quoted("broken_" + k) + ":" + v));
+        figures.forEach((k, v) -> all.add(JsonValue.quoted(k) + ":" + number(v)));
+        broken.forEach((k, v) -> all.add(JsonValue.quoted("broken_" + k) + ":" + v));
         return "{" + String.join(",", all) + "}";
     }
 
     static String number(double v) {
-        return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.format(Locale.ROOT, "%.6f", v);
+        return v == Math.rint(v) && Math.abs(v) < 1e15
+                ? Long.toString((long) v)
+                : String.format(Locale.ROOT, "%.6f", v);
     }
 }
--- a/src/test/java/elderseam/platform/MeaningTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -1,21 +1,21 @@
-package elderseam.platform;
+package elderseam.frontend.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.UpstreamRequest.End;
-import elderseam.core.UpstreamRequest.Progress;
-import elderseam.core.UpstreamRequest.Status;
-import elderseam.http.Reply;
+import elderseam.core.EndpointCall.End;
+import elderseam.core.EndpointCall.Progress;
+import elderseam.core.EndpointCall.Status;
+import elderseam.http.HttpResult;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What an answer of an upstream host means. */
-class MeaningTest {
+class ResponseClassificationTest {
     private static End end(int code, String header, String value) {
-        return PlatformUpstream.meaning(new Reply(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]),
-                List.of("x0", "x1"));
+        return PlatformAttemptSender.meaning(
+                new HttpResult(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
     }
 
     @Test
@@ -27,8 +27,12 @@
         assertEquals(Status.NO_SLOT, end(503, "X-Over-Slots", "1").status());
         assertEquals(Status.SPENT, end(504, "X", "").status());
         assertEquals(Status.OVER, end(410, "X", "").status());
-        assertEquals(List.of(true, false, false), List.of(end(500, "X", "").mayHaveRun(),
-                end(503, "X", "").mayHaveRun(), end(410, "X", "").mayHaveRun()));
+        assertEquals(
+                List.of(true, false, false),
+                List.of(
+                        end(500, "X", "").mayHaveRun(),
+                        end(503, "X", "").mayHaveRun(),
+                        end(410, "X", "").mayHaveRun()));
     }
 
     /** A report is read by its fields' names; nonsense in it counts as untold. */
@@ -36,8 +40,13 @@
     void reports() {
         End told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
         assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
-        for (String nonsense : List.of("TEXT x1=many, x0", "BIN x0=0.4, x1=25", "TEXT x0=0.4, x1=1e300", "TEXT x0=NaN, x1=-3",
-                "TEXT x0=7, x1=25", "\u0000\u00ff=,=,")) {
+        for (String nonsense : List.of(
+                "TEXT x1=many, x0",
+                "BIN x0=0.4, x1=25",
+                "TEXT x0=0.4, x1=1e300",
+                "TEXT x0=NaN, x1=-3",
+                "TEXT x0=7, x1=25",
+                "\u0000\u00ff=,=,")) {
             End odd = end(200, "X-Pressure", nonsense);
             assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
         }
@@ -46,9 +55,9 @@
 
     @Test
     void remainingTimes() {
-        assertEquals(480_000_000L, PlatformFront.remaining("480m"));
-        assertEquals(480_000L, PlatformFront.remaining("480u"));
-        assertEquals(-1, PlatformFront.remaining("480"));
-        assertEquals(-1, PlatformFront.remaining("-4m"));
+        assertEquals(480_000_000L, PlatformFrontend.remaining("480m"));
+        assertEquals(480_000L, PlatformFrontend.remaining("480u"));
+        assertEquals(-1, PlatformFrontend.remaining("480"));
+        assertEquals(-1, PlatformFrontend.remaining("-4m"));
     }
 }
--- a/src/test/java/elderseam/gossip/trust/DoorTest.java
+++ b/src/test/java/elderseam/gossip/security/PacketAuthenticatorTest.java
@@ -1,15 +1,15 @@
-package elderseam.gossip.trust;
+package elderseam.gossip.security;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.gossip.Codec;
 import elderseam.gossip.Message;
 import elderseam.gossip.Packet;
-import elderseam.gossip.trust.Door.Drop;
-import elderseam.gossip.trust.Door.Opened;
+import elderseam.gossip.PacketCodec;
+import elderseam.gossip.security.PacketAuthenticator.Drop;
+import elderseam.gossip.security.PacketAuthenticator.Opened;
 import java.net.InetAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,16 +21,17 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Who gets in, and what a recorded, copied, cut or invented envelope comes to. */
-class DoorTest {
+class PacketAuthenticatorTest {
     private static final long S = 1_000_000_000L;
     private static final int MOST = Packet.DATAGRAM;
 
     @TempDir
     Path folder;
+
     private KeyFile keyA, keyB, keyC;
     private Roster roster;
     private InetAddress atA, atB;
-    private Door a, b;
+    private PacketAuthenticator a, b;
     private long now;
     private int seed;
 
@@ -51,12 +52,12 @@
     }
 
     /** A new life of an instance. */
-    private Door door(String name, KeyFile key) {
-        return new Door(name, new Keyring(key, roster), new SplittableRandom(++seed), now);
+    private PacketAuthenticator door(String name, KeyFile key) {
+        return new PacketAuthenticator(name, new Keyring(key, roster), new SplittableRandom(++seed), now);
     }
 
     private static byte[] body(long number) {
-        return Codec.encode(new Packet(new Message.Ack(number), List.of(), List.of()), 100);
+        return PacketCodec.encode(new Packet(new Message.Ack(number), List.of(), List.of()), 100);
     }
 
     private byte[] fromA(long number) {
@@ -142,7 +143,7 @@
         byte[] hello = atB(fromA(0)).back();
         assertEquals("b", a.open(atB, hello, hello.length, MOST, 6, now).from());
         assertNull(a.open(atB, hello, hello.length, MOST, 6, now).from());
-        Door other = door("a", keyA);
+        PacketAuthenticator other = door("a", keyA);
         other.seal("b", body(1), 5, now);
         assertNull(other.open(atB, hello, hello.length, MOST, 6, now).from());
         assertEquals(1, other.dropped(Drop.HELLO));
@@ -165,7 +166,7 @@
         assertEquals(1, b.dropped(Drop.ADDRESS));
         dropped(Drop.KEY, door("a", keyC).seal("b", body(1), 5, now));
         dropped(Drop.UNKNOWN, door("x", keyC).seal("b", body(1), 5, now));
-        dropped(Drop.UNKNOWN, b.seal("a", body(1), 5, now));   // its own name
+        dropped(Drop.UNKNOWN, b.seal("a", body(1), 5, now)); // its own name
         assertNotNull(atB(good).packet(), "none of that has harmed it");
         assertEquals(1, b.droppedFrom(atB));
     }
@@ -178,7 +179,7 @@
         for (int i = 0; i < good.length; i++) {
             byte[] bad = good.clone();
             bad[i] ^= 1;
-            now += S;   // the budget of checks is not the matter here
+            now += S; // the budget of checks is not the matter here
             assertNull(atB(bad).packet(), "byte " + i);
         }
         assertNotNull(atB(good).packet());
@@ -208,7 +209,8 @@
         for (int i = 0; i < 5_000; i++) {
             random.nextBytes(junk);
             InetAddress from = InetAddress.getByAddress(new byte[] {10, 0, (byte) (i / 256), (byte) i});
-            assertNull(b.open(from, junk, random.nextInt(junk.length), MOST, 7, now).packet());
+            assertNull(b.open(from, junk, random.nextInt(junk.length), MOST, 7, now)
+                    .packet());
         }
         assertEquals(1_024, b.sources());
         assertEquals(5_000, b.dropped(Drop.FORM));
@@ -220,7 +222,9 @@
         for (int i = 0; i < 1_000; i++) {
             atB(spoilt);
         }
-        assertTrue(b.dropped(Drop.SEAL) <= 100 && b.dropped(Drop.RATE) >= 900, b.dropped(Drop.SEAL) + " seals were checked");
+        assertTrue(
+                b.dropped(Drop.SEAL) <= 100 && b.dropped(Drop.RATE) >= 900,
+                b.dropped(Drop.SEAL) + " seals were checked");
         int hellos = 0;
         for (int i = 0; i < 1_000; i++) {
             byte[] stranger = door("a", keyA).seal("b", body(1), 5, now);
@@ -234,7 +238,7 @@
         acquainted();
         byte[] good = fromA(2);
         Keyring keys = new Keyring(keyB, roster);
-        b = new Door("b", keys, new SplittableRandom(9), now);
+        b = new PacketAuthenticator("b", keys, new SplittableRandom(9), now);
         acquainted();
         keys.roster(roster("b 127.2.0.1 " + keyB.text()));
         b.remove("a");
--- a/src/test/java/elderseam/module/AdviceTest.java
+++ b/src/test/java/elderseam/policy/AdviceTest.java
@@ -1,9 +1,9 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/elderseam/module/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -1,10 +1,10 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.compat.CoreProcess;
 import elderseam.compat.Recorded;
-import elderseam.module.Sender.Listing;
+import elderseam.policy.Sender.Listing;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -17,7 +17,9 @@
  * value, which reading and writing by the same code would not show, so each field is also compared by its name.
  */
 class CarriedStateTest {
-    private static final String VALUES = "learned/carried.txt", FIELDS = "learned/fields.txt", FRESH = "learned/fresh.txt";
+    private static final String VALUES = "learned/carried.txt",
+            FIELDS = "learned/fields.txt",
+            FRESH = "learned/fresh.txt";
     private static final long NOW = 9_000_000_000_000L;
     private static final Sender.Settings SETTINGS = CoreProcess.SETTINGS.settings();
 
@@ -82,13 +84,22 @@
                 }
                 case "whole" -> {
                     if (endpoint < 0) {
-                        return "3";   // endpoints
+                        return "3"; // endpoints
                     }
                     int place = wholes++;
-                    return "" + (place == 0 ? 50 + endpoint : place == 1 ? endpoint % 2 : place == 2 ? (endpoint + 1) % 2
-                            : place == 5 ? endpoint : number);   // destination, kind, zone, and the breaker's state
+                    return ""
+                            + (place == 0
+                                    ? 50 + endpoint
+                                    : place == 1
+                                            ? endpoint % 2
+                                            : place == 2
+                                                    ? (endpoint + 1) % 2
+                                                    : place == 5
+                                                            ? endpoint
+                                                            : number); // destination, kind, zone, and the breaker's
+                    // state
                 }
-                case "flag" -> {   // a pattern of its own over the three endpoints for each of the first seven
+                case "flag" -> { // a pattern of its own over the three endpoints for each of the first seven
                     return "" + ((++flags >> endpoint & 1) == 1 || flags >= 7);
                 }
                 case "real" -> {
@@ -102,7 +113,7 @@
     }
 
     private static List<String> carry(Notes notes) {
-        Brain brain = new Brain(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
+        DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         brain.carry(NOW, notes);
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
@@ -123,7 +134,7 @@
     /** One that has done nothing yet: what follows the endpoints has values of its own, by which its order is seen. */
     @Test
     void aFreshSenderWritesAsBefore() throws IOException {
-        Brain brain = new Brain(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
+        DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, Listing.READY)));
         Notes written = new Notes(null, null);
         brain.carry(NOW, written);
@@ -146,18 +157,49 @@
         RateController rate = endpoint.group.rate;
         LatencyTracker latency = endpoint.group.latency;
         LongUnaryOperator ago = time -> (NOW - time) / 1_000_000_000L;
-        return List.of("endpoint " + endpoint.address, "destination " + endpoint.destination.id, "kind " + endpoint.destination.kindIndex, "zone " + endpoint.zone, "ready " + endpoint.ready,
-                "gone " + endpoint.removed, "bias " + endpoint.bias, "last used " + ago.applyAsLong(endpoint.lastUsedAt), "cold since " + ago.applyAsLong(endpoint.coldSince),
-                "next cold call " + ago.applyAsLong(endpoint.nextColdCallAt), "failures of class 0 " + endpoint.failures[0], "rest of class 0 " + ago.applyAsLong(endpoint.ejectedUntil[0]),
-                "failures of class 1 " + endpoint.failures[1], "rest of class 1 " + ago.applyAsLong(endpoint.ejectedUntil[1]), "breaker state " + breaker.state.ordinal(),
-                "opened by a hang " + breaker.openedByHang, "open until " + ago.applyAsLong(breaker.openUntil), "Retry-After until " + ago.applyAsLong(rate.retryAfterUntil),
-                "last success " + ago.applyAsLong(latency.lastSuccessAt), "successes since " + ago.applyAsLong(latency.latestAnsweredStart),
-                "consecutive failures since " + ago.applyAsLong(breaker.failuresSince), "down since " + ago.applyAsLong(breaker.outageStart),
-                "consecutive failures " + breaker.consecutiveFailures, "baseline latency " + latency.baselineLatencyNs, "recent latency " + latency.recentLatencyNs, "weight " + endpoint.group.estimate.advertised,
-                "own rate " + endpoint.group.estimate.typicalRate, "weight at the last cut " + rate.advertisedAtCut, "pace " + rate.pace, "pace level " + rate.tokens,
-                "failure rate " + breaker.failureRateEwma, "refilled " + ago.applyAsLong(rate.refilledAt), "paused until " + ago.applyAsLong(rate.pauseUntil),
-                "pause " + rate.pauseNs, "last cut " + ago.applyAsLong(rate.lastCutAt), "last full " + ago.applyAsLong(rate.lastFullAt),
-                "last failure " + ago.applyAsLong(rate.lastFaultAt), "ramp since " + ago.applyAsLong(rate.warmUpStart), "ramping " + rate.warmingUp,
-                "limit advertised " + rate.limitReported, "headroom " + rate.headroom, "calls " + endpoint.group.window.calls(), "failed " + endpoint.group.window.failures());
+        return List.of(
+                "endpoint " + endpoint.address,
+                "destination " + endpoint.destination.id,
+                "kind " + endpoint.destination.kindIndex,
+                "zone " + endpoint.zone,
+                "ready " + endpoint.ready,
+                "gone " + endpoint.removed,
+                "bias " + endpoint.bias,
+                "last used " + ago.applyAsLong(endpoint.lastUsedAt),
+                "cold since " + ago.applyAsLong(endpoint.coldSince),
+                "next cold call " + ago.applyAsLong(endpoint.nextColdCallAt),
+                "failures of class 0 " + endpoint.failures[0],
+                "rest of class 0 " + ago.applyAsLong(endpoint.ejectedUntil[0]),
+                "failures of class 1 " + endpoint.failures[1],
+                "rest of class 1 " + ago.applyAsLong(endpoint.ejectedUntil[1]),
+                "breaker state " + breaker.state.ordinal(),
+                "opened by a hang " + breaker.openedByHang,
+                "open until " + ago.applyAsLong(breaker.openUntil),
+                "Retry-After until " + ago.applyAsLong(rate.retryAfterUntil),
+                "last success " + ago.applyAsLong(latency.lastSuccessAt),
+                "successes since " + ago.applyAsLong(latency.latestAnsweredStart),
+                "consecutive failures since " + ago.applyAsLong(breaker.failuresSince),
+                "down since " + ago.applyAsLong(breaker.outageStart),
+                "consecutive failures " + breaker.consecutiveFailures,
+                "baseline latency " + latency.baselineLatencyNs,
+                "recent latency " + latency.recentLatencyNs,
+                "weight " + endpoint.group.estimate.advertised,
+                "own rate " + endpoint.group.estimate.typicalRate,
+                "weight at the last cut " + rate.advertisedAtCut,
+                "pace " + rate.pace,
+                "pace level " + rate.tokens,
+                "failure rate " + breaker.failureRateEwma,
+                "refilled " + ago.applyAsLong(rate.refilledAt),
+                "paused until " + ago.applyAsLong(rate.pauseUntil),
+                "pause " + rate.pauseNs,
+                "last cut " + ago.applyAsLong(rate.lastCutAt),
+                "last full " + ago.applyAsLong(rate.lastFullAt),
+                "last failure " + ago.applyAsLong(rate.lastFaultAt),
+                "ramp since " + ago.applyAsLong(rate.warmUpStart),
+                "ramping " + rate.warmingUp,
+                "limit advertised " + rate.limitReported,
+                "headroom " + rate.headroom,
+                "calls " + endpoint.group.window.calls(),
+                "failed " + endpoint.group.window.failures());
     }
 }
--- a/src/test/java/elderseam/module/ChurnTest.java
+++ b/src/test/java/elderseam/policy/ChurnTest.java
@@ -1,13 +1,13 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.PolicyTestHarness.S;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.ListKind;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.ListKind;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 /** Endpoints and destinations that come and go for ever. */
@@ -28,7 +28,9 @@
         assertTrue(
                 harness.policy.directory.destinations.size() < 40,
                 harness.policy.directory.destinations.size() + " destinations");
-        assertTrue(harness.policy.requests.keyQueues.size() < 3, harness.policy.requests.keyQueues.size() + " ordering keys");
+        assertTrue(
+                harness.policy.requests.keyQueues.size() < 3,
+                harness.policy.requests.keyQueues.size() + " ordering keys");
         assertTrue(harness.policy.directory.empty.size() < 40 && harness.policy.requests.resting.size() < 3);
     }
 
--- a/src/test/java/elderseam/module/ConnectionsTest.java
+++ b/src/test/java/elderseam/policy/ConnectionsTest.java
@@ -1,12 +1,12 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.PolicyTestHarness.MS;
-import static elderseam.module.PolicyTestHarness.S;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/elderseam/module/PolicyFilesTest.java
+++ b/src/test/java/elderseam/policy/PolicyFilesTest.java
@@ -1,4 +1,4 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,7 +15,7 @@
 
 /** Limits on the source of the policy. */
 class PolicyFilesTest {
-    private static final Path PACKAGE = Path.of("src/main/java/elderseam/module");
+    private static final Path PACKAGE = Path.of("src/main/java/elderseam/policy");
     private static final int MAX_POLICY_LINES = 1010;
     private static final int MAX_FILE_LINES = 400;
     private static final int MAX_LINE_LENGTH = 120; // the formatter's limit
--- a/src/test/java/elderseam/module/PolicyParts.java
+++ b/src/test/java/elderseam/policy/PolicyParts.java
@@ -1,9 +1,9 @@
-package elderseam.module;
+package elderseam.policy;
 
-import elderseam.module.Sender.Kind;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Message;
-import elderseam.module.Sender.Settings;
+import elderseam.policy.Sender.Kind;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Message;
+import elderseam.policy.Sender.Settings;
 
 /** The parts of a policy with one listed endpoint, for tests of a part alone; the clock stands at 100 s. */
 final class PolicyParts {
--- a/src/test/java/elderseam/module/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -1,14 +1,14 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Effect;
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.MessageClass;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Effect;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -43,7 +43,7 @@
     }
 
     final Sender.Settings settings;
-    final Brain policy;
+    final DispatchPolicy policy;
     final Map<String, Sent> messages = new LinkedHashMap<>();
     /** Messages unfinished, or with attempts out. */
     final Map<String, Sent> active = new LinkedHashMap<>();
@@ -65,7 +65,7 @@
 
     PolicyTestHarness(Sender.Settings settings, long seed) {
         this.settings = settings;
-        this.policy = new Brain(settings, seed, this);
+        this.policy = new DispatchPolicy(settings, seed, this);
     }
 
     /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
--- a/src/test/java/elderseam/module/RetryPolicyTest.java
+++ b/src/test/java/elderseam/policy/RetryPolicyTest.java
@@ -1,15 +1,15 @@
-package elderseam.module;
+package elderseam.policy;
 
-import static elderseam.module.PolicyParts.NOW;
-import static elderseam.module.PolicyTestHarness.MS;
-import static elderseam.module.PolicyTestHarness.S;
+import static elderseam.policy.PolicyParts.NOW;
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Outcome;
-import elderseam.module.Sender.Report;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Outcome;
+import elderseam.policy.Sender.Report;
+import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 /** The retry policy alone. */
--- a/src/test/java/elderseam/module/SuccessionTest.java
+++ b/src/test/java/elderseam/policy/SuccessionTest.java
@@ -1,11 +1,11 @@
-package elderseam.module;
+package elderseam.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.module.Sender.Listing;
-import elderseam.module.Sender.Result;
+import elderseam.policy.Sender.Listing;
+import elderseam.policy.Sender.Result;
 import java.util.ArrayDeque;
 import org.junit.jupiter.api.Test;
 
@@ -103,7 +103,8 @@
         successor.policy.restored(successor.now, sent.msg, 1, false, 0);
         successor.policy.adopted(successor.now, id, out.endpoint(), out.start());
         successor.policy.turnEnd(successor.now);
-        Sender.Message second = new Sender.Message("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
+        Sender.Message second =
+                new Sender.Message("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
         PolicyTestHarness.Sent waits =
                 new PolicyTestHarness.Sent(second, successor.settings.classes().get(0));
         successor.messages.put("second", waits);
--- a/src/test/java/elderseam/scenario/UpstreamEndsTest.java
+++ b/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
@@ -17,9 +17,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** How connections to upstream hosts end, and what that says of the request on them, by PROTOCOL. SpoiltTest has answers that do not fit. */
-class UpstreamEndsTest {
+class EndpointConnectionEndTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
-    private static final String OUT = "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
+    private static final String OUT =
+            "c send POST /rent-payment; " + TO + " X-Txn: pay\nc expect 202\nh1 expect X-Txn: pay\n";
 
     /** A connection is kept, and the process stands still. */
     private static final String KEPT = """
@@ -40,8 +41,13 @@
 
     /** Part of an answer, and then an end, in order or by a reset: it may have run. Once only it ends, repeatable it goes again. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 50", "HTTP/1.1 503 x\\r\\nContent-Le", "HTTP/1.1 503 x\\r\\nContent-Length: 9\\r\\n\\r\\nshort",
-        "HTTP/1.1 503 x\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nsho"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 50",
+                "HTTP/1.1 503 x\\r\\nContent-Le",
+                "HTTP/1.1 503 x\\r\\nContent-Length: 9\\r\\n\\r\\nshort",
+                "HTTP/1.1 503 x\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n5\\r\\nsho"
+            })
     void anAnswerThatBreaksOffMayHaveRun(String part) throws Exception {
         for (String end : List.of("end", "close")) {
             plays("""
@@ -131,16 +137,17 @@
      */
     @Test
     void aLateConnectionIsWaitedFor() throws Exception {
-        try (Scenario s = new Scenario(folder); ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.99.0.3"))) {
+        try (Scenario s = new Scenario(folder);
+                ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.99.0.3"))) {
             List<Socket> fill = new ArrayList<>();
-            for (int i = 0; i < 2; i++) {   // one more than the backlog says
+            for (int i = 0; i < 2; i++) { // one more than the backlog says
                 fill.add(new Socket(full.getInetAddress(), full.getLocalPort()));
             }
             s.place("h3", full);
             s.start();
             s.run("platform send h1 DRAINING\nplatform send h3 SERVING\noperator wait INFO -> hosts_listed=3\n"
                     + "c send POST /rent-payment; {to} X-Txn: pay\nc expect 202\n".replace("{to}", TO));
-            long last = System.nanoTime() + Wire.PATIENCE_S * 1_000_000_000L;
+            long last = System.nanoTime() + RawHttpSocket.PATIENCE_S * 1_000_000_000L;
             while (!asks(full.getLocalPort())) {
                 assertTrue(System.nanoTime() < last, "no connection is asked for");
             }
@@ -155,7 +162,7 @@
                     head.append((char) late.getInputStream().read());
                 }
                 assertTrue(head.indexOf("X-Txn: pay") > 0, head.toString());
-                late.getOutputStream().write(Wire.answer(200, "", "").getBytes());
+                late.getOutputStream().write(RawHttpSocket.answer(200, "", "").getBytes());
                 s.run("operator wait INFO -> rent-payment.success=1\n");
             }
         }
@@ -164,7 +171,7 @@
     /** Whether a connection to that port is being asked for (SYN_SENT, by the system's table). */
     private static boolean asks(int port) throws IOException {
         String there = ":%04X 02 ".formatted(port);
-        for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {   // the program's sockets speak both
+        for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) { // the program's sockets speak both
             if (Files.readAllLines(Path.of(table)).stream().anyMatch(l -> l.contains(there))) {
                 return true;
             }
--- a/src/test/java/elderseam/scenario/FloodTest.java
+++ b/src/test/java/elderseam/scenario/OverloadTest.java
@@ -14,7 +14,7 @@
 
 /** A flood takes a core: no other class runs beside it. */
 @Isolated
-class FloodTest extends GossipFleet {
+class OverloadTest extends GossipFleet {
     /** Junk at full speed at the port of one that goes on serving; it is counted, and the fleet holds. */
     @Test
     void aFloodOfJunk() throws Exception {
@@ -42,7 +42,7 @@
             for (int i = 0; i < 10; i++) {
                 run("n1", SAY.formatted(i, "flooded" + i));
             }
-            try (Socket half = new Socket(at.get("n1"), port)) {   // and a connection that says a length and hangs
+            try (Socket half = new Socket(at.get("n1"), port)) { // and a connection that says a length and hangs
                 half.getOutputStream().write(new byte[] {0, 1, 0, 0, 7});
                 run("n1", SAY.formatted("h", "hung"));
             }
