--- a/src/main/java/elderseam/policy/Sender.java
+++ b/src/main/java/elderseam/policy/Sender.java
@@ -188,7 +188,10 @@
         OPEN
     }
 
-    /** A destination as its breaker has it: {@code calls} of the last 10 s, {@code failed} of them, what is left of a told wait. */
+    /**
+     * A destination as its breaker has it: {@code calls} of the last 10 s, {@code failed} of them, what is left of a
+     * told wait.
+     */
     record Breaker(Standing standing, int calls, int failed, long waitNs) {}
 
     /** Endpoints on the list, and those of them that get nothing now: draining, by hand or by choice. */
@@ -209,8 +212,9 @@
             Report report) {}
 
     /**
-     * Carries what a sender has learned to the one that takes its place. Each value passes through, in one order: one that writes
-     * gives back what it is given, one that reads gives back what was written, times moved to its own clock.
+     * Carries what a sender has learned to the one that takes its place. Each value passes through, in one order: one
+     * that writes gives back what it is given, one that reads gives back what was written, times moved to its own
+     * clock.
      */
     interface Ledger {
         long whole(long value);
@@ -220,7 +224,10 @@
         /** Of the clock; what is far from any time of it (none, never) passes as it is. */
         long time(long value);
 
-        /** The end of a told wait, of the clock; for a process that begins anew it is past, as a restart ends each wait. */
+        /**
+         * The end of a told wait, of the clock; for a process that begins anew it is past, as a restart ends each
+         * wait.
+         */
         default long ends(long wait) {
             return wait;
         }
@@ -246,14 +253,22 @@
          *  of them may have run, and until when a keyed one may then be sent again. */
         void restored(long now, Message message, int attempts, boolean maybeRan, long keyUntil);
 
-        /** The attempt that a restored message has had last is still out, at another process of this sender; its outcome will come. */
+        /**
+         * The attempt that a restored message has had last is still out, at another process of this sender; its
+         * outcome will come.
+         */
         void adopted(long now, String id, String endpoint, long start);
 
-        /** Tells, or takes over, what was learned of the endpoints, their breakers and paces, and of the tenants; on a fresh sender
-         *  before anything else. */
+        /**
+         * Tells, or takes over, what was learned of the endpoints, their breakers and paces, and of the tenants; on a
+         * fresh sender before anything else.
+         */
         void carry(long now, Ledger ledger);
 
-        /** Whether there is, or was of late, an endpoint for that destination; a message for another is best not taken. */
+        /**
+         * Whether there is, or was of late, an endpoint for that destination; a message for another is best not
+         * taken.
+         */
         boolean serves(long now, long destination);
 
         /** The process ends at that time: no attempt starts that would hardly be answered before it. */
@@ -268,8 +283,10 @@
         /** The host did not look at the network for so long: no call was silent in that time. */
         void unseen(long now, long ns);
 
-        /** Whether a call of that message there, decided earlier, may begin now: it is listed as ready, no told wait lasts, and
-         *  where an attempt may have run the message may still go there. */
+        /**
+         * Whether a call of that message there, decided earlier, may begin now: it is listed as ready, no told wait
+         * lasts, and where an attempt may have run the message may still go there.
+         */
         boolean mayCall(long now, String id, String endpoint);
 
         /** How every destination that is listed stands now. */
@@ -279,17 +296,19 @@
         Listed listed(long now);
 
         /**
-         * What others say of a destination, until told otherwise. {@code doubt}, 0 to 1: how much less own evidence trips its
-         * breaker; alone it trips nothing. {@code trying}: how many senders will try it about when it returns; a sleeping
-         * window lengthens with them as it does with the number of senders, and is never shorter for it.
+         * What others say of a destination, until told otherwise. {@code doubt}, 0 to 1: how much less own evidence
+         * trips its breaker; alone it trips nothing. {@code trying}: how many senders will try it about when it
+         * returns; a sleeping window lengthens with them as it does with the number of senders, and is never shorter
+         * for it.
          */
         void advised(long now, long destination, double doubt, double trying);
 
         /**
-         * What its part is of all that is sent, until told otherwise. {@code senders}: by how many the limits of destinations and
-         * the shares of tenants are divided, in the place of the settings' number. {@code preferred}: the endpoints of its subset; others
-         * are called where the preferred ones can't be or have much more out, so no message waits for them. {@code retries}: tries
-         * after a failure for each first one at a destination, 1 and more for no bound; of the fleet, so every sender's alike.
+         * What its part is of all that is sent, until told otherwise. {@code senders}: by how many the limits of
+         * destinations and the shares of tenants are divided, in the place of the settings' number. {@code
+         * preferred}: the endpoints of its subset; others are called where the preferred ones can't be or have much
+         * more out, so no message waits for them. {@code retries}: tries after a failure for each first one at a
+         * destination, 1 and more for no bound; of the fleet, so every sender's alike.
          */
         void part(long now, int senders, Predicate<String> preferred, double retries);
 
--- a/src/test/java/elderseam/policy/BreakerTest.java
+++ b/src/test/java/elderseam/policy/BreakerTest.java
@@ -13,24 +13,24 @@
 import org.junit.jupiter.api.Test;
 
 class BreakerTest {
-    private final PolicyTestHarness rig = PolicyTestHarness.simple(8);
+    private final PolicyTestHarness harness = PolicyTestHarness.simple(8);
 
     private void warm() {
         for (int i = 0; i < 12; i++) {
-            String id = rig.submit(0, -1, 1);
-            rig.pass(100 * MS);
-            rig.answer(id, Result.DELIVERED);
+            String id = harness.submit(0, -1, 1);
+            harness.pass(100 * MS);
+            harness.answer(id, Result.DELIVERED);
         }
     }
 
     private void trip() {
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            ids.add(rig.submit(2, 100 + i, 1));
+            ids.add(harness.submit(2, 100 + i, 1));
         }
         for (String id : ids) {
-            if (rig.sent(id)) {
-                rig.answer(id, Result.ERROR);
+            if (harness.sent(id)) {
+                harness.answer(id, Result.ERROR);
             }
         }
     }
@@ -39,9 +39,9 @@
     void ticketsAreThreeQuartersOfTheSlotsAtMost() {
         warm();
         for (int i = 0; i < 20; i++) {
-            rig.submit(0, -1, 1);
+            harness.submit(0, -1, 1);
         }
-        assertEquals(6, rig.out().size());
+        assertEquals(6, harness.out().size());
     }
 
     @Test
@@ -54,13 +54,13 @@
             PolicyTestHarness.Attempt a = r.only(id);
             r.answer(id, result);
             // a repeated outcome is passed over
-            r.brain.outcome(
+            r.policy.outcome(
                     r.now, new Sender.Outcome(id, a.number(), "a:1", result, 0, 0, false, false, Sender.Report.NONE));
-            r.brain.turnEnd(r.now);
+            r.policy.turnEnd(r.now);
             r.pass(3 * S);
             while (!r.out().isEmpty()) {
                 r.answer(r.out().get(0), Result.DELIVERED, 0);
-                r.brain.turnEnd(r.now);
+                r.policy.turnEnd(r.now);
             }
             r.pass(30 * S);
             for (int i = 0; i < 20; i++) {
@@ -75,107 +75,109 @@
     @Test
     void halfOfTwentyCallsFailingTripsIt() {
         for (int i = 0; i < 10; i++) {
-            String good = rig.submit(2, -1, 1);
-            rig.pass(50 * MS);
-            rig.answer(good, Result.DELIVERED);
-            String bad = rig.submit(2, -1, 1);
-            assertTrue(rig.sent(bad), "call " + i + " below the floor");
-            rig.pass(50 * MS);
-            rig.answer(bad, Result.ERROR);
+            String good = harness.submit(2, -1, 1);
+            harness.pass(50 * MS);
+            harness.answer(good, Result.DELIVERED);
+            String bad = harness.submit(2, -1, 1);
+            assertTrue(harness.sent(bad), "call " + i + " below the floor");
+            harness.pass(50 * MS);
+            harness.answer(bad, Result.ERROR);
         }
-        assertFalse(rig.sent(rig.submit(2, -1, 1)), "parks once tripped");
+        assertFalse(harness.sent(harness.submit(2, -1, 1)), "parks once tripped");
     }
 
     @Test
-    void aRunOfFailuresTripsBelowTheFloorAndParks() {
+    void consecutiveFailuresTripBelowTheMinimumOfCalls() {
         warm();
         trip();
-        String parked = rig.submit(0, -1, 1);
-        assertFalse(rig.sent(parked));
-        rig.pass(1400 * MS);
-        assertFalse(rig.sent(parked));
-        assertEquals(null, rig.end(parked));
+        String parked = harness.submit(0, -1, 1);
+        assertFalse(harness.sent(parked));
+        harness.pass(1400 * MS);
+        assertFalse(harness.sent(parked));
+        assertEquals(null, harness.end(parked));
     }
 
     @Test
-    void oneTrialAfterTheSleepClosesOnSuccess() {
+    void oneTrialAfterTheSleepWindowClosesOnSuccess() {
         warm();
         trip();
         for (int i = 0; i < 5; i++) {
-            rig.submit(0, -1, 1);
+            harness.submit(0, -1, 1);
         }
-        rig.pass(3800 * MS);
-        assertEquals(1, rig.out().size(), "one live trial");
-        rig.answer(rig.out().get(0), Result.DELIVERED, 0);
-        rig.brain.turnEnd(rig.now);
-        rig.pass(5 * S);
-        assertTrue(rig.out().size() >= 1, "closed again");
-        assertTrue(rig.out().size() <= 4, "warms up, no burst: " + rig.out().size());
+        harness.pass(3800 * MS);
+        assertEquals(1, harness.out().size(), "one live trial");
+        harness.answer(harness.out().get(0), Result.DELIVERED, 0);
+        harness.policy.turnEnd(harness.now);
+        harness.pass(5 * S);
+        assertTrue(harness.out().size() >= 1, "closed again");
+        assertTrue(
+                harness.out().size() <= 4,
+                "warms up, no burst: " + harness.out().size());
     }
 
     @Test
-    void aFailedTrialSleepsAgain() {
+    void aFailedTrialOpensAgain() {
         warm();
         trip();
-        String id = rig.submit(0, -1, 1);
-        for (int i = 0; i < 500 && rig.out().isEmpty(); i++) {
-            rig.pass(5 * MS);
+        String id = harness.submit(0, -1, 1);
+        for (int i = 0; i < 500 && harness.out().isEmpty(); i++) {
+            harness.pass(5 * MS);
         }
-        rig.answer(id, Result.CONNECT_FAILED);
-        rig.pass(1400 * MS);
-        assertEquals(0, rig.out().size());
-        rig.pass(10 * S);
-        assertEquals(1, rig.out().size());
+        harness.answer(id, Result.CONNECT_FAILED);
+        harness.pass(1400 * MS);
+        assertEquals(0, harness.out().size());
+        harness.pass(10 * S);
+        assertEquals(1, harness.out().size());
     }
 
     @Test
-    void theTrialIsASafeMessageWhereOneWaits() {
+    void theTrialIsASafeRequestWhereOneWaits() {
         warm();
         trip();
-        rig.submit(2, 1, 1);
-        String safe = rig.submit(0, -1, 1);
-        rig.pass(3800 * MS);
-        assertTrue(rig.sent(safe));
-        assertEquals(1, rig.out().size());
+        harness.submit(2, 1, 1);
+        String safe = harness.submit(0, -1, 1);
+        harness.pass(3800 * MS);
+        assertTrue(harness.sent(safe));
+        assertEquals(1, harness.out().size());
     }
 
     @Test
     void hungCallsTripBeforeTheirTimeOut() {
         warm();
         for (int i = 0; i < 3; i++) {
-            rig.submit(2, -1, 1);
+            harness.submit(2, -1, 1);
         }
-        rig.pass(2200 * MS);
-        assertFalse(rig.sent(rig.submit(0, -1, 1)), "parks");
-        assertTrue(rig.trace.stream().anyMatch(l -> l.contains("hung calls")));
+        harness.pass(2200 * MS);
+        assertFalse(harness.sent(harness.submit(0, -1, 1)), "parks");
+        assertTrue(harness.trace.stream().anyMatch(l -> l.contains("hung calls")));
     }
 
     /** i2bf2c3: a lost answer must neither hold its ticket to the deadline nor trip a live destination. */
     @Test
-    void aLostAnswerIsCutWhileOthersAreAnswered() {
+    void anAttemptIsCancelledWhenItsAnswerIsLost() {
         warm();
-        String lost = rig.submit(0, -1, 1);
+        String lost = harness.submit(0, -1, 1);
         for (int i = 0; i < 20; i++) {
-            String id = rig.submit(0, -1, 1);
-            rig.pass(100 * MS);
-            if (rig.sent(id)) {
-                rig.answer(id, Result.DELIVERED);
+            String id = harness.submit(0, -1, 1);
+            harness.pass(100 * MS);
+            if (harness.sent(id)) {
+                harness.answer(id, Result.DELIVERED);
             }
         }
-        assertTrue(rig.trace.stream().anyMatch(l -> l.contains("cancel " + lost)));
-        assertTrue(rig.trace.stream().noneMatch(l -> l.contains("hung")));
+        assertTrue(harness.trace.stream().anyMatch(l -> l.contains("cancel " + lost)));
+        assertTrue(harness.trace.stream().noneMatch(l -> l.contains("hung")));
     }
 
     @Test
-    void aToldWaitIsKeptToTheVeryInstant() {
+    void aRetryAfterIsKeptExactly() {
         warm();
-        String id = rig.submit(0, -1, 1);
-        rig.answer(rig.only(id), Result.FULL, 700 * MS);
-        rig.brain.turnEnd(rig.now);
-        rig.pass(695 * MS);
-        assertEquals(0, rig.out().size());
-        rig.pass(2 * S);
-        assertEquals(1, rig.out().size());
+        String id = harness.submit(0, -1, 1);
+        harness.answer(harness.only(id), Result.FULL, 700 * MS);
+        harness.policy.turnEnd(harness.now);
+        harness.pass(695 * MS);
+        assertEquals(0, harness.out().size());
+        harness.pass(2 * S);
+        assertEquals(1, harness.out().size());
     }
 
     /** isolates: once failing, a destination holds at most half of the slots, here a quarter, also while it hangs. */
@@ -203,15 +205,15 @@
         r.answer(id, Result.TIMEOUT); // it may have run: 6 s from its start
         r.pass(300 * MS);
         assertTrue(r.sent(id) && r.out().size() == 1, "tried again within the window");
-        assertTrue(r.brain.mayCall(r.now, id, "a:1"));
+        assertTrue(r.policy.mayCall(r.now, id, "a:1"));
         r.pass(5_800 * MS);
-        assertFalse(r.brain.mayCall(r.now, id, "a:1"), "the window is over");
-        assertFalse(r.brain.mayCall(r.now, "unknown", "a:1"), "nothing is held under that id");
+        assertFalse(r.policy.mayCall(r.now, id, "a:1"), "the window is over");
+        assertFalse(r.policy.mayCall(r.now, "unknown", "a:1"), "nothing is held under that id");
     }
 
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
-    void aCallWithMoreMessagesGoesFirst() {
+    void aLargerBatchGoesFirst() {
         PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(1, new Sender.Kind(false, 5), false), 1);
         r.list(
                 Sender.ListKind.CACHED,
@@ -221,27 +223,27 @@
         for (int i = 0; i < 4; i++) {
             r.take(0, -1, 2);
         }
-        r.brain.turnEnd(r.now);
+        r.policy.turnEnd(r.now);
         assertEquals(4, r.out().size());
         r.out().forEach(a -> assertEquals("b:1", a.endpoint()));
     }
 
     /** The parked backlog never bursts: sends after an outage stay under the multiple of the cold share. */
     @Test
-    void theBacklogIsReleasedUnderTheFallMultiple() {
+    void theBacklogIsReleasedBelowTheOverloadMultiple() {
         warm();
         trip();
         for (int i = 0; i < 60; i++) {
-            rig.submit(0, -1, 1);
+            harness.submit(0, -1, 1);
         }
         int delivered = 0;
         for (int i = 0; i < 500; i++) {
-            rig.pass(10 * MS);
-            for (PolicyTestHarness.Attempt a : rig.out()) {
-                rig.answer(a, Result.DELIVERED, 0);
+            harness.pass(10 * MS);
+            for (PolicyTestHarness.Attempt a : harness.out()) {
+                harness.answer(a, Result.DELIVERED, 0);
                 delivered++;
             }
-            rig.brain.turnEnd(rig.now);
+            harness.policy.turnEnd(harness.now);
         }
         assertTrue(delivered >= 1 && delivered <= 6, delivered + " in the 2 s after the trial");
     }
@@ -263,15 +265,15 @@
         assertEquals(0, r.timers.size());
     }
 
-    /** While messages park, the timer is set for the end of the sleep and their deadlines: no poll. */
+    /** While requests wait, the timer is set for the end of the sleep and their deadlines: no poll. */
     @Test
     void aSleepingBreakerIsNotPolled() {
         warm();
         trip();
-        rig.submit(2, -1, 1);
-        int before = rig.timersSet;
-        rig.pass(2200 * MS);
-        assertTrue(rig.timersSet - before <= 12, rig.timersSet - before + " timers");
+        harness.submit(2, -1, 1);
+        int before = harness.timersSet;
+        harness.pass(2200 * MS);
+        assertTrue(harness.timersSet - before <= 12, harness.timersSet - before + " timers");
     }
 
     private static PolicyTestHarness shared(int senders, long seed) {
@@ -311,7 +313,7 @@
 
     /** Later days: hundreds of senders knew of an outage and came back at once; their sum must stay small. */
     @Test
-    void manySendersTogetherStayUnderWhatAReturningDestinationStands() {
+    void manySendersStayUnderWhatAReturningDestinationWithstands() {
         for (Result fault : List.of(Result.FULL, Result.CONNECT_FAILED)) {
             int early = 0;
             int late = 0;
@@ -325,7 +327,7 @@
                         early += step < 200 ? 1 : 0;
                         late += step < 200 ? 0 : 1;
                     }
-                    r.brain.turnEnd(r.now);
+                    r.policy.turnEnd(r.now);
                 }
             }
             assertTrue(late <= 60, fault + ": " + late + " calls from 60 senders in the second 10 s");
@@ -335,7 +337,7 @@
 
     /** Later Kingston: one endpoint fails one class; the others go on there and the breaker stays closed. */
     @Test
-    void anEndpointThatFailsOneClassIsLeftOutForThatClassOnly() {
+    void anEndpointIsEjectedOnlyForTheClassThatFails() {
         PolicyTestHarness r =
                 new PolicyTestHarness(PolicyTestHarness.settings(12, new Sender.Kind(false, 1), false), 5);
         r.list(
@@ -357,7 +359,7 @@
                     r.answer(a, Result.DELIVERED, 0);
                 }
             }
-            r.brain.turnEnd(r.now);
+            r.policy.turnEnd(r.now);
         }
         assertTrue(failed <= 10, failed + " of 100 sent where they fail");
         assertTrue(others >= 30, others + " of the other class served there");
@@ -366,7 +368,7 @@
 
     /** Overload day: couriers that knew sent a partly failing route twice its rate, and on to its return. */
     @Test
-    void aMostlyFailingSharedDestinationCountsAsColdBelowTheFloor() {
+    void aMostlyFailingSharedDestinationCountsAsCold() {
         PolicyTestHarness r = shared(40, 3);
         int sent = 0;
         for (int step = 0; step < 400; step++) { // 20 s: two of three calls fail, never four in a row
@@ -376,7 +378,7 @@
             for (PolicyTestHarness.Attempt a : r.out()) {
                 r.answer(a, sent++ % 3 == 2 ? Result.DELIVERED : Result.ERROR, 0);
             }
-            r.brain.turnEnd(r.now);
+            r.policy.turnEnd(r.now);
             r.pass(50 * MS);
         }
         assertTrue(sent <= 20, sent + " calls in 20 s, twice a second handed in");
@@ -384,7 +386,7 @@
 
     /** Incident i527d1f: 214 of 411 couriers called a refusing route twice each, the second a second later. */
     @Test
-    void theFirstPauseIsLongAfterAFailedConnectionAndShortAfterARefusal() {
+    void theFirstBackOffIsLongAfterAFailedConnectionAndShortAfterFull() {
         PolicyTestHarness down = shared(200, 3);
         PolicyTestHarness full = shared(200, 3);
         down.pass(S);
@@ -398,7 +400,7 @@
 
     /** Hunted day hae3b2f: couriers that had seen refusals only called on, second after second, to the return. */
     @Test
-    void aSecondRefusalWithoutADeliveryPausesForLong() {
+    void aSecondFullWithoutADeliveryBacksOffLonger() {
         for (long seed = 1; seed <= 20; seed++) {
             PolicyTestHarness r = shared(200, seed);
             r.pass(S);
@@ -413,14 +415,14 @@
 
     /** Hunted day h91a4c8: a shut destination told 278 couriers the same end, and all came in that second. */
     @Test
-    void manyDoNotComeTogetherAtTheEndOfALongToldWait() {
+    void manySendersDoNotReturnTogetherAfterALongRetryAfter() {
         int atOnce = 0;
         for (long seed = 1; seed <= 40; seed++) {
             PolicyTestHarness r = shared(200, seed);
             r.pass(S);
             String id = r.submit(0, -1, 1);
             r.answer(r.only(id), Result.FULL, 5000 * MS);
-            r.brain.turnEnd(r.now);
+            r.policy.turnEnd(r.now);
             r.pass(5500 * MS);
             atOnce += r.sent(id) ? 1 : 0;
         }
--- a/src/test/java/elderseam/policy/ConnectionsTest.java
+++ b/src/test/java/elderseam/policy/ConnectionsTest.java
@@ -12,10 +12,10 @@
 
 /** What is done with connections that stay idle. */
 class ConnectionsTest {
-    private final PolicyTestHarness rig = new PolicyTestHarness(many(false, Sender.Rates.UNTOLD), 7);
+    private final PolicyTestHarness harness = new PolicyTestHarness(many(false, Sender.Rates.UNTOLD), 7);
 
     ConnectionsTest() {
-        rig.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        harness.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
     }
 
     private static Sender.Settings many(boolean apart, Sender.Rates rates) {
@@ -47,44 +47,44 @@
     }
 
     private long disconnects(String endpoint) {
-        return rig.trace.stream()
+        return harness.trace.stream()
                 .filter(l -> l.endsWith("disconnect " + endpoint))
                 .count();
     }
 
     private void deliver(long dest) {
-        String id = rig.submit(0, -1, dest);
-        rig.pass(50 * MS);
-        rig.answer(id, Result.DELIVERED);
-        rig.pass(50 * MS);
+        String id = harness.submit(0, -1, dest);
+        harness.pass(50 * MS);
+        harness.answer(id, Result.DELIVERED);
+        harness.pass(50 * MS);
     }
 
     /** 20 to 53% of attempts at endpoints of few connections found them taken by idle ones. */
     @Test
     void idleConnectionsAreClosedOnceOneFailedToOpen() {
-        rig.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
+        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
         deliver(1);
         assertEquals(0, disconnects("a:1"), "kept while all connect");
-        rig.answer(rig.submit(0, -1, 2), Result.CONNECT_FAILED);
+        harness.answer(harness.submit(0, -1, 2), Result.CONNECT_FAILED);
         assertEquals(1, disconnects("a:1"), "the one held gives its room to others");
-        rig.pass(2 * S);
+        harness.pass(2 * S);
         deliver(1);
         assertEquals(2, disconnects("a:1"), "later ones are closed after their use");
     }
 
     @Test
     void aConnectionThatTheNextMessageUsesStaysOpen() {
-        rig.answer(rig.submit(0, -1, 1), Result.CONNECT_FAILED);
-        rig.pass(S);
+        harness.answer(harness.submit(0, -1, 1), Result.CONNECT_FAILED);
+        harness.pass(S);
         long before = disconnects("a:1");
-        List<PolicyTestHarness.Attempt> out = rig.out();
-        rig.take(1, -1, 1);
-        out.forEach(a -> rig.answer(a, Result.DELIVERED, 0));
-        rig.brain.turnEnd(rig.now);
-        assertTrue(!rig.out().isEmpty(), "the next goes in the same turn");
-        int last = rig.trace.size() - 1;
+        List<PolicyTestHarness.Attempt> out = harness.out();
+        harness.take(1, -1, 1);
+        out.forEach(a -> harness.answer(a, Result.DELIVERED, 0));
+        harness.policy.turnEnd(harness.now);
+        assertTrue(!harness.out().isEmpty(), "the next goes in the same turn");
+        int last = harness.trace.size() - 1;
         assertTrue(
-                rig.trace.subList(0, last).stream().noneMatch(l -> l.startsWith(rig.now + " disconnect")),
+                harness.trace.subList(0, last).stream().noneMatch(l -> l.startsWith(harness.now + " disconnect")),
                 "closed only after the sends: " + before);
     }
 
@@ -92,15 +92,15 @@
     @Test
     void aCallLostOnAnIdleConnectionGoesAgainAndLaterOnesOpenNew() {
         deliver(1);
-        rig.pass(3 * S);
-        String lost = rig.submit(0, -1, 1);
+        harness.pass(3 * S);
+        String lost = harness.submit(0, -1, 1);
         assertEquals(0, disconnects("a:1"), "an idle connection is used while none has done harm");
-        rig.pass(3 * S);
-        assertTrue(rig.messages.get(lost).attempts > 1, "cut once overdue and sent again, with no other evidence");
-        rig.answer(lost, Result.DELIVERED);
-        rig.pass(2 * S);
+        harness.pass(3 * S);
+        assertTrue(harness.messages.get(lost).attempts > 1, "cut once overdue and sent again, with no other evidence");
+        harness.answer(lost, Result.DELIVERED);
+        harness.pass(2 * S);
         long before = disconnects("a:1");
-        rig.submit(2, -1, 1);
+        harness.submit(2, -1, 1);
         assertEquals(before + 1, disconnects("a:1"), "idle for longer than half of what was lost: a new one");
     }
 
@@ -138,7 +138,7 @@
     }
 
     @Test
-    void aDearRouteIsTakenOnlyWhileTheCheapOneRests() {
+    void anExpensiveRouteIsUsedOnlyWhileTheCheapOneIsEjected() {
         Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(true, 1), false);
         PolicyTestHarness r = new PolicyTestHarness(
                 new Sender.Settings(
@@ -174,6 +174,6 @@
         assertEquals("cheap:1", r.only(first).endpoint());
         r.answer(first, Result.ERROR);
         r.pass(S / 2);
-        assertEquals("dear:1", r.only(first).endpoint(), "a sick cheap route loses to a dear one");
+        assertEquals("dear:1", r.only(first).endpoint(), "a failing cheap route loses to a dear one");
     }
 }
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -43,7 +43,7 @@
     }
 
     final Sender.Settings settings;
-    final DispatchPolicy brain;
+    final DispatchPolicy policy;
     final Map<String, Sent> messages = new LinkedHashMap<>();
     /** Messages unfinished, or with attempts out. */
     final Map<String, Sent> active = new LinkedHashMap<>();
@@ -51,7 +51,7 @@
     final Map<String, Sender.Endpoint> listed = new HashMap<>();
     final Map<String, Long> leftAt = new HashMap<>();
     final Map<String, Long> waits = new HashMap<>();
-    final Map<Long, List<Sent>> lanes = new HashMap<>();
+    final Map<Long, List<Sent>> orderedRequests = new HashMap<>();
     final Map<Long, Long> rests = new HashMap<>();
     final TreeMap<Long, List<Long>> timers = new TreeMap<>();
     final List<String> trace = new ArrayList<>();
@@ -65,7 +65,7 @@
 
     PolicyTestHarness(Sender.Settings settings, long seed) {
         this.settings = settings;
-        this.brain = new DispatchPolicy(settings, seed, this);
+        this.policy = new DispatchPolicy(settings, seed, this);
     }
 
     /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
@@ -100,9 +100,9 @@
     }
 
     static PolicyTestHarness simple(int slots) {
-        PolicyTestHarness rig = new PolicyTestHarness(settings(slots, new Sender.Kind(false, 1), false), 7);
-        rig.list(Sender.ListKind.CACHED, endpoint("a:1", 1, 0, Listing.READY));
-        return rig;
+        PolicyTestHarness harness = new PolicyTestHarness(settings(slots, new Sender.Kind(false, 1), false), 7);
+        harness.list(Sender.ListKind.CACHED, endpoint("a:1", 1, 0, Listing.READY));
+        return harness;
     }
 
     static Sender.Endpoint endpoint(String address, long dest, int zone, Listing listing) {
@@ -121,13 +121,13 @@
                 leftAt.putIfAbsent(e.address(), now);
             }
         }
-        brain.endpoints(now, kind, List.of(entries));
-        brain.turnEnd(now);
+        policy.endpoints(now, kind, List.of(entries));
+        policy.turnEnd(now);
     }
 
     String submit(int cls, long key, long dest) {
         String id = take(cls, key, dest);
-        brain.turnEnd(now);
+        policy.turnEnd(now);
         return id;
     }
 
@@ -141,9 +141,9 @@
         messages.put(id, sent);
         active.put(id, sent);
         if (c.ordered() && key >= 0) {
-            lanes.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
+            orderedRequests.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
         }
-        brain.message(now, m);
+        policy.message(now, m);
         return id;
     }
 
@@ -168,7 +168,7 @@
 
     void answer(String id, Result result) {
         answer(only(id), result, 0);
-        brain.turnEnd(now);
+        policy.turnEnd(now);
     }
 
     void answer(Attempt a, Result result, long waitNs) {
@@ -190,7 +190,7 @@
         if (waitNs > 0) {
             waits.merge(route(a.endpoint()), now + waitNs, Math::max);
         }
-        brain.outcome(
+        policy.outcome(
                 now,
                 new Sender.Outcome(
                         a.id(),
@@ -217,7 +217,7 @@
             boolean turn = false;
             while (!timers.isEmpty() && timers.firstKey() <= now) {
                 for (long token : timers.pollFirstEntry().getValue()) {
-                    brain.timer(now, token);
+                    policy.timer(now, token);
                     turn = true;
                 }
             }
@@ -237,7 +237,7 @@
                 }
             }
             if (turn) {
-                brain.turnEnd(now);
+                policy.turnEnd(now);
             }
             active.values().removeIf(s -> s.end != null && s.out.isEmpty());
             for (Sent s : active.values()) {
@@ -263,7 +263,7 @@
         assertEquals(s.msg.destination(), e.destination(), "endpoint of another destination");
         assertTrue(s.attempts < settings.maxAttempts(), "too many attempts");
         assertTrue(now <= leftAt.getOrDefault(endpoint, Long.MAX_VALUE / 2) + settings.drainGraceNs(), "drained");
-        assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "told wait not heeded");
+        assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "Retry-After not heeded");
         assertTrue(settings.secondCopies() || s.out.isEmpty(), "second copy");
         if (s.maybeRan && s.cls.effect() != Effect.SAFE) {
             assertEquals(Effect.KEYED, s.cls.effect(), "unsafe message sent again");
@@ -271,7 +271,7 @@
             assertTrue(!s.cls.keyPerZone() || e.zone() == s.zone, "other zone");
         }
         if (s.cls.ordered() && s.msg.orderKey() >= 0) {
-            for (Sent earlier : lanes.get(s.msg.orderKey())) {
+            for (Sent earlier : orderedRequests.get(s.msg.orderKey())) {
                 if (earlier == s) {
                     break;
                 }
--- a/src/test/java/elderseam/policy/PropertyTest.java
+++ b/src/test/java/elderseam/policy/PropertyTest.java
@@ -11,7 +11,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Random legal events; the rig asserts the rules at every action. */
+/** Random legal events; the harness asserts the rules at every action. */
 class PropertyTest {
     private long delivered;
 
@@ -19,20 +19,20 @@
         SplittableRandom random = new SplittableRandom(seed);
         boolean apart = random.nextInt(3) == 0;
         Sender.Kind kind = new Sender.Kind(apart, random.nextInt(3) == 0 ? 4 : 1);
-        PolicyTestHarness rig = new PolicyTestHarness(
+        PolicyTestHarness harness = new PolicyTestHarness(
                 PolicyTestHarness.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
         int dests = 1 + random.nextInt(4);
         for (int d = 0; d < dests; d++) {
-            rig.list(
+            harness.list(
                     Sender.ListKind.CHANGES,
                     PolicyTestHarness.endpoint("a:" + d, d, 0, Listing.READY),
                     PolicyTestHarness.endpoint("b:" + d, d, 1, Listing.READY));
         }
         for (int step = 0; step < 600; step++) {
-            int sick = step / 100 % (dests + 2);
+            int failing = step / 100 % (dests + 2);
             if (random.nextInt(3) == 0) {
-                rig.patience = random.nextInt(4) == 0 ? 0.02 + 0.5 * random.nextDouble() : 1;
-                rig.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(dests));
+                harness.patience = random.nextInt(4) == 0 ? 0.02 + 0.5 * random.nextDouble() : 1;
+                harness.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(dests));
             }
             if (random.nextInt(150) == 0) { // replaced in bulk, or an old list after a gap
                 String suffix = random.nextBoolean() ? "" : ":" + step;
@@ -40,17 +40,17 @@
                 for (int d = 0; d < dests; d++) {
                     all[d] = PolicyTestHarness.endpoint("a:" + d + suffix, d, 0, Listing.READY);
                 }
-                rig.list(random.nextBoolean() ? Sender.ListKind.WHOLE : Sender.ListKind.CACHED, all);
+                harness.list(random.nextBoolean() ? Sender.ListKind.WHOLE : Sender.ListKind.CACHED, all);
             }
-            for (PolicyTestHarness.Attempt a : rig.out()) {
+            for (PolicyTestHarness.Attempt a : harness.out()) {
                 int roll = random.nextInt(100);
-                boolean ill = rig.messages.get(a.id()).msg.destination() == sick;
+                boolean ill = harness.messages.get(a.id()).msg.destination() == failing;
                 if (roll < 25 && !ill) {
-                    rig.answer(a, Result.DELIVERED, 0);
+                    harness.answer(a, Result.DELIVERED, 0);
                 } else if (roll < (ill ? 30 : 28)) {
                     Result r = Result.values()[1 + random.nextInt(Result.values().length - 1)];
                     boolean cancelled = r == Result.CANCELLED || r == Result.TIMEOUT;
-                    rig.answer(
+                    harness.answer(
                             a,
                             cancelled ? Result.RESET : r,
                             r == Result.FULL && random.nextBoolean() ? random.nextInt(3000) * MS : 0);
@@ -60,28 +60,28 @@
                 String side = random.nextBoolean() ? "a:" : "b:";
                 Listing to = Listing.values()[random.nextInt(3)];
                 int d = random.nextInt(dests);
-                rig.list(
+                harness.list(
                         Sender.ListKind.CHANGES,
                         PolicyTestHarness.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
             }
             if (random.nextInt(60) == 0) {
-                rig.messages.values().stream()
+                harness.messages.values().stream()
                         .filter(m -> m.end == null)
                         .findFirst()
                         .ifPresent(m -> {
                             m.end = "withdrawn";
-                            rig.brain.withdrawn(rig.now, m.msg.id());
+                            harness.policy.withdrawn(harness.now, m.msg.id());
                         });
             }
-            rig.brain.turnEnd(rig.now);
-            rig.pass(5 * MS * (1 + random.nextInt(20)));
+            harness.policy.turnEnd(harness.now);
+            harness.pass(5 * MS * (1 + random.nextInt(20)));
         }
-        rig.pass(30 * S);
-        rig.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
-        delivered += rig.messages.values().stream()
+        harness.pass(30 * S);
+        harness.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
+        delivered += harness.messages.values().stream()
                 .filter(m -> "delivered".equals(m.end))
                 .count();
-        return rig.trace;
+        return harness.trace;
     }
 
     @Test
@@ -147,12 +147,12 @@
                     r.submit(random.nextInt(3), random.nextInt(4) - 1, 1 + random.nextInt(2));
                 }
                 for (PolicyTestHarness.Attempt a : r.out()) {
-                    boolean sick = a.endpoint().equals("a:1");
-                    onReturn += sick && step >= 300 && step < 340 ? 1 : 0;
-                    boolean full = sick && !down && step > 300 && room-- <= 0;
-                    r.answer(a, sick && down ? Result.CONNECT_FAILED : full ? Result.FULL : Result.DELIVERED, 0);
+                    boolean failing = a.endpoint().equals("a:1");
+                    onReturn += failing && step >= 300 && step < 340 ? 1 : 0;
+                    boolean full = failing && !down && step > 300 && room-- <= 0;
+                    r.answer(a, failing && down ? Result.CONNECT_FAILED : full ? Result.FULL : Result.DELIVERED, 0);
                 }
-                r.brain.turnEnd(r.now);
+                r.policy.turnEnd(r.now);
                 r.pass(50 * MS);
             }
         }
