--- a/bench/src/elderseam/fleet/EngineMember.java
+++ b/bench/src/elderseam/fleet/EngineMember.java
@@ -1,7 +1,11 @@
 package elderseam.fleet;
 
 import elderseam.fleet.lease.LeaseGroup;
+import elderseam.fleet.lease.LeaseGroupConfiguration;
+import elderseam.fleet.lease.LeaseRenewer;
+import elderseam.fleet.lease.LeaseStateMachine;
 import elderseam.fleet.lease.LeaseTable;
+import elderseam.fleet.lease.LeaseValidity;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -47,7 +51,7 @@
         for (int i = 1; i <= MEMBERS; i++) {
             peers.put("m" + i, new InetSocketAddress("127.0.0.1", port + i));
         }
-        LeaseGroup group = LeaseGroup.start(new LeaseGroup.Opening(
+        LeaseGroup group = LeaseGroup.start(new LeaseGroupConfiguration(
                 "bench",
                 "m" + number,
                 peers.get("m" + number),
@@ -56,41 +60,54 @@
                 150,
                 Long.toString(System.nanoTime()),
                 System::nanoTime,
-                new LeaseMachine.Watch() {
+                new LeaseStateMachine.Listener() {
                     @Override
-                    public void led(String by) {
-                        say("led by " + by);
+                    public void leaderChanged(String leader) {
+                        say("led by " + leader);
                     }
                 },
-                LeaseGroup.SNAPSHOT_EVERY));
-        new LeaseHolder(
+                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT));
+        new LeaseRenewer(
                 group,
                 List.of("task"),
                 TERM_MS,
-                new Tenure.Bounds(0.05),
+                new ClockDriftBound(0.05),
                 new SplittableRandom(number),
                 System::nanoTime,
-                new LeaseHolder.Events() {
-                    private long token = -1;
+                new SayHeld());
+    }
 
-                    @Override
-                    public void asked(String lease, LeaseKeeper.Ask ask, long of) {
-                        // only the outcome counts
-                    }
+    /** Says {@code held} when the lease is granted with a token of its own, not when it is renewed. */
+    private static final class SayHeld implements LeaseRenewer.Listener {
+        private long lastToken = -1;
 
-                    @Override
-                    public void released(String lease) {
-                        // it never is
-                    }
+        @Override
+        public void requested(String lease, LeaseTable.Operation operation, long token) {
+            // Only a grant is reported.
+        }
 
-                    @Override
-                    public void answered(String lease, LeaseTable.Outcome outcome, Tenure tenure) {
-                        if (tenure != null && tenure.token() != token) {
-                            token = tenure.token();
-                            say("held");
-                        }
-                    }
-                });
+        @Override
+        public void granted(String lease, LeaseValidity validity) {
+            if (validity.token() != lastToken) {
+                lastToken = validity.token();
+                say("held");
+            }
+        }
+
+        @Override
+        public void refused(String lease, LeaseTable.Outcome outcome) {
+            // Only a grant is reported.
+        }
+
+        @Override
+        public void unanswered(String lease) {
+            // Only a grant is reported.
+        }
+
+        @Override
+        public void released(String lease) {
+            // It is kept until the process is killed.
+        }
     }
 
     private static void zooKeeper(int number, int port, Path folder) throws Exception {
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -4,9 +4,10 @@
 import elderseam.control.OperatorCommand;
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
+import elderseam.fleet.ClockDriftBound;
 import elderseam.fleet.lease.LeaseGroup;
+import elderseam.fleet.lease.LeaseGroupConfiguration;
 import elderseam.fleet.lease.LeaseRenewer;
-import elderseam.fleet.lease.LeaseRequestSchedule;
 import elderseam.fleet.lease.LeaseStateMachine;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
@@ -121,18 +122,18 @@
 
     /** The tenure by which this member may act on a lease now, or null. */
     LeaseValidity tenure(String lease) {
-        LeaseValidity t = holder == null ? null : holder.tenure(lease);
+        LeaseValidity t = holder == null ? null : holder.validity(lease).orElse(null);
         return t != null && t.mayAct(clock.now(), clock.now()) ? t : null;
     }
 
     /** Whether another member holds it by the group's last word. */
     boolean another(String lease) {
-        return holder != null && holder.othersUntil(lease) > clock.now();
+        return holder != null && holder.isHeldByAnother(lease);
     }
 
     void want(String lease, boolean wants) {
         if (holder != null) {
-            holder.want(lease, wants);
+            holder.setWanted(lease, wants);
         }
     }
 
@@ -164,7 +165,7 @@
                         PlatformConfiguration.address(m.substring(m.indexOf('=') + 1))));
         String life = Long.toString(clock.wallMs(), 36) + "-"
                 + ProcessHandle.current().pid();
-        LeaseGroup begun = LeaseGroup.start(new LeaseGroup.Opening(
+        LeaseGroup begun = LeaseGroup.start(new LeaseGroupConfiguration(
                 settings.get(SettingKeys.FLEET_GROUP),
                 settings.get(SettingKeys.FLEET_NAME),
                 PlatformConfiguration.address(settings.get(SettingKeys.FLEET_LISTEN)),
@@ -174,27 +175,27 @@
                 life,
                 clock::now,
                 new Learnt(),
-                LeaseGroup.SNAPSHOT_EVERY));
+                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT));
         group = begun;
         if (left) {
             begun.close();
             return;
         }
-        LeaseValidity.Bounds bounds = new LeaseValidity.Bounds(settings.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
+        ClockDriftBound driftBound = new ClockDriftBound(settings.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
         SplittableRandom random =
                 new SplittableRandom(seed ^ settings.get(SettingKeys.FLEET_NAME).hashCode());
         holder = new LeaseRenewer(
-                begun, leases(), settings.get(SettingKeys.FLEET_TTL_MS), bounds, random, clock::now, new Told());
+                begun, leases(), settings.get(SettingKeys.FLEET_TTL_MS), driftBound, random, clock::now, new Told());
         if (versions != null) {
             versions.joins(begun);
         }
-        System.err.println("fleet: " + begun.holder() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
+        System.err.println("fleet: " + begun.holderId() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
         if (!settings.get(SettingKeys.REHEARSAL_STORE).equals("off")) {
             new LeaseWorkload(
                     PlatformConfiguration.address(settings.get(SettingKeys.REHEARSAL_STORE)),
-                    begun.holder(),
+                    begun.holderId(),
                     settings.get(SettingKeys.FLEET_LEASES),
-                    holder::tenure,
+                    holder::validity,
                     settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MS,
                     clock::now,
                     history);
@@ -202,25 +203,25 @@
     }
 
     /** What the whole group learns, on the engine's threads. */
-    private final class Learnt implements LeaseStateMachine.Watch {
+    private final class Learnt implements LeaseStateMachine.Listener {
         @Override
-        public void led(String by) {
+        public void leaderChanged(String by) {
             leader = by;
             System.err.println("fleet: led by " + by);
         }
 
         @Override
-        public void versions() {
+        public void versionsChanged() {
             if (versions != null) {
                 versions.news();
             }
         }
 
         @Override
-        public void freed(String lease) {
+        public void released(String lease) {
             LeaseRenewer h = holder;
             if (h != null) {
-                h.freed(lease);
+                h.onReleasedByOther(lease);
             }
         }
 
@@ -241,53 +242,62 @@
     }
 
     /** The holder's requests, for the history of a rehearsal. */
-    private final class Told implements LeaseRenewer.Events {
+    private final class Told implements LeaseRenewer.Listener {
         @Override
-        public void asked(String lease, LeaseRequestSchedule.Ask ask, long token) {
+        public void requested(String lease, LeaseTable.Operation operation, long token) {
             if (history != null) {
-                history.add("invoke", "op", ask.wireName(), "lease", lease, "token", token, "holder", group.holder());
+                history.event("invoke")
+                        .with("op", operation.name())
+                        .with("lease", lease)
+                        .with("token", token)
+                        .with("holder", group.holderId())
+                        .append();
             }
         }
 
         @Override
         public void released(String lease) {
             if (history != null) {
-                history.add("released", "lease", lease, "holder", group.holder());
+                history.event("released")
+                        .with("lease", lease)
+                        .with("holder", group.holderId())
+                        .append();
             }
         }
 
         @Override
-        public void answered(String lease, LeaseTable.Outcome outcome, LeaseValidity tenure) {
-            if (history == null) {
-                return;
-            }
-            if (outcome == null) {
-                history.add("unknown", "lease", lease, "holder", group.holder());
-            } else if (!outcome.granted()) {
-                history.add(
-                        "refused",
-                        "lease",
-                        lease,
-                        "holder",
-                        group.holder(),
-                        "by",
-                        outcome.holder(),
-                        "token",
-                        outcome.token());
-            } else { // until when it will believe to hold, as the machine's clock will show that instant
+        public void granted(String lease, LeaseValidity validity) {
+            if (history != null) { // until when it will believe to hold, as the machine's clock will show that instant
                 double rate = settings.get(SettingKeys.REHEARSAL_CLOCK_PERCENT) / 100.0;
                 long at = System.nanoTime();
-                history.at(
-                        at,
-                        "granted",
-                        "lease",
-                        lease,
-                        "holder",
-                        group.holder(),
-                        "token",
-                        tenure.token(),
-                        "until_ns",
-                        at + (long) ((tenure.untilNs() - clock.now()) / rate));
+                history.eventAt(at, "granted")
+                        .with("lease", lease)
+                        .with("holder", group.holderId())
+                        .with("token", validity.token())
+                        .with("until_ns", at + (long) ((validity.expiresAtNs() - clock.now()) / rate))
+                        .append();
+            }
+        }
+
+        @Override
+        public void refused(String lease, LeaseTable.Outcome outcome) {
+            if (history != null) {
+                history.event("refused")
+                        .with("lease", lease)
+                        .with("holder", group.holderId())
+                        .with("by", outcome.holder())
+                        .with("token", outcome.token())
+                        .append();
+            }
+        }
+
+        @Override
+        public void unanswered(String lease) {
+            if (history != null) {
+                history.event("unknown")
+                        .with("lease", lease)
+                        .with("holder", group.holderId())
+                        .append();
             }
         }
     }
@@ -304,21 +314,22 @@
             return CommandResult.no("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
-            now.members(command.members())
+            now.changeMembers(command.members())
                     .whenComplete((done, e) -> System.err.println("fleet: members "
                             + String.join(" ", command.members().keySet())
                             + (e == null ? " agreed" : ": not agreed: " + e.getMessage())));
             return CommandResult.yes("asked; FLEET tells when it is so");
         }
         try {
-            List<String> lines = new ArrayList<>(
-                    List.of("self=" + now.holder(), "leader=" + leader, "members=" + String.join(" ", now.members())));
+            List<String> lines = new ArrayList<>(List.of(
+                    "self=" + now.holderId(), "leader=" + leader, "members=" + String.join(" ", now.memberNames())));
             for (String lease : leases()) {
-                LeaseValidity t = holder.tenure(lease);
+                LeaseValidity t = holder.validity(lease).orElse(null);
                 boolean holds = t != null && t.mayAct(clock.now(), clock.now());
                 lines.add("lease." + lease + "="
                         + (holds
-                                ? "held token " + t.token() + " for " + (t.untilNs() - clock.now()) / Clock.MS + " ms"
+                                ? "held token " + t.token() + " for " + (t.expiresAtNs() - clock.now()) / Clock.MS
+                                        + " ms"
                                 : "not held"));
             }
             lines.add("EOF");
@@ -334,7 +345,8 @@
         if (versions != null) {
             versions.leave();
         }
-        CompletableFuture<Void> givenBack = holder == null ? CompletableFuture.completedFuture(null) : holder.leave();
+        CompletableFuture<Void> givenBack =
+                holder == null ? CompletableFuture.completedFuture(null) : holder.releaseAllAndStop();
         Thread end = new Thread(
                 () -> {
                     try {
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -6,6 +6,7 @@
 import elderseam.acme.SecretSealer;
 import elderseam.acme.SharedCertificateOrder;
 import elderseam.fleet.lease.CertificateOrderTask;
+import elderseam.fleet.lease.LeaseOwner;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
 import elderseam.settings.SettingKeys;
@@ -66,8 +67,10 @@
     @Override
     public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
         LeaseService f = fleet;
-        boolean mine =
-                duty.own(now.toEpochMilli(), lastAt.toEpochMilli(), tenure() != null, f != null && f.another(lease));
+        boolean mine = duty.isOrderedHere(
+                now.toEpochMilli(),
+                lastAt.toEpochMilli(),
+                LeaseOwner.of(tenure() != null, f != null && f.another(lease)));
         if (mine) {
             System.err.println(
                     "fleet: orders the certificate" + (tenure() == null ? " by itself: nobody else has" : ""));
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -31,7 +31,7 @@
     private void pass() {
         LeaseValidity t = fleet.tenure(LEASE);
         String list = t == null ? "" : discovery.list();
-        if (t != null && list.length() <= LeaseTable.MOST_VALUE) {
+        if (t != null && list.length() <= LeaseTable.MAX_VALUE_CHARS) {
             fleet.publish(LEASE, t, list);
         }
     }
@@ -43,12 +43,12 @@
             System.err.println("fleet: a list that can't be read: " + e.getMessage());
             return;
         }
-        duty.published(clock.now());
+        duty.onPublished(clock.now());
         discovery.heard(latest);
     }
 
     void look() {
-        boolean own = duty.own(clock.now(), fleet.tenure(LEASE) != null);
+        boolean own = duty.isPerformedHere(clock.now(), fleet.tenure(LEASE) != null);
         if (own != watches) {
             watches = own;
             System.err.println("fleet: " + (own ? "watches discovery" : "another watches discovery"));
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -2,6 +2,8 @@
 
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
+import elderseam.fleet.BreakerState;
+import elderseam.fleet.lease.LeaseOwner;
 import elderseam.fleet.lease.LeaseValidity;
 import elderseam.fleet.lease.RecoveryProbeTask;
 import elderseam.frontend.platform.EndpointList;
@@ -48,25 +50,25 @@
         }
         String lease = LEASE + destination;
         LeaseValidity held = fleet.tenure(lease);
-        RecoveryProbeTask.Turn turn =
-                duty.look(clock.now(), standing(breaker.standing()), held != null, fleet.another(lease));
-        if (turn.tells()) {
+        RecoveryProbeTask.Decision turn = duty.decide(
+                clock.now(), standing(breaker.standing()), LeaseOwner.of(held != null, fleet.another(lease)));
+        if (turn.publishesRecovery()) {
             fleet.publish(lease, held, "back");
         }
-        fleet.want(lease, turn.wants());
-        if (turn.defers()) {
+        fleet.want(lease, turn.wantsLease());
+        if (turn.defersProbe()) {
             relay.defer(hosts.of(destination), DEFER_NS);
         }
-        if (closed && !turn.wants()) {
+        if (closed && !turn.wantsLease()) {
             duties.remove(destination);
         }
     }
 
-    private static RecoveryProbeTask.Standing standing(Sender.Standing own) {
+    private static BreakerState standing(Sender.Standing own) {
         return switch (own) {
-            case CLOSED -> RecoveryProbeTask.Standing.CLOSED;
-            case HALF_OPEN -> RecoveryProbeTask.Standing.HALF_OPEN;
-            case OPEN -> RecoveryProbeTask.Standing.OPEN;
+            case CLOSED -> BreakerState.CLOSED;
+            case HALF_OPEN -> BreakerState.HALF_OPEN;
+            case OPEN -> BreakerState.OPEN;
         };
     }
 
@@ -75,7 +77,7 @@
         RecoveryProbeTask duty =
                 lease.startsWith(LEASE) ? duties.get(Long.parseLong(lease.substring(LEASE.length()))) : null;
         if (duty != null) {
-            duty.back();
+            duty.onRecoveryPublished();
         }
     }
 }
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -110,7 +110,7 @@
     }
 
     private Settings merged(Path texts) throws IOException {
-        return Settings.read(VersionContent.merged(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        return Settings.read(VersionContent.mergeSettings(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
     private void move(Settings told) {
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -2,6 +2,7 @@
 
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
+import elderseam.fleet.BreakerState;
 import elderseam.fleet.partition.EndpointSubsetting;
 import elderseam.fleet.partition.FleetSizeEstimator;
 import elderseam.fleet.partition.TurnTakingTask;
@@ -96,8 +97,8 @@
             return;
         }
         List<String> present = members.present().stream().sorted().toList();
-        size.seen(io.clock.now(), present.size());
-        int now = size.sharers(io.clock.now());
+        size.observe(io.clock.now(), present.size());
+        int now = size.estimate(io.clock.now());
         Map<Long, List<String>> listed = hosts.all();
         Set<String> ids = new HashSet<>();
         listed.values().forEach(ids::addAll);
@@ -121,36 +122,36 @@
     }
 
     private void turn(long destination, Sender.Breaker breaker) {
-        TurnTakingTask.Standing own = standing(breaker.standing());
-        TurnTakingTask duty = own == TurnTakingTask.Standing.CLOSED
+        BreakerState own = standing(breaker.standing());
+        TurnTakingTask duty = own == BreakerState.CLOSED
                 ? duties.remove(destination)
                 : duties.computeIfAbsent(
                         destination, d -> new TurnTakingTask(Long.toString(d), members.self(), IDLE_NS));
-        if (duty == null || own == TurnTakingTask.Standing.CLOSED) {
+        if (duty == null || own == BreakerState.CLOSED) {
             return;
         }
-        List<TurnTakingTask.Other> others = members.claims(destination).stream()
+        List<TurnTakingTask.PeerReport> others = members.claims(destination).stream()
                 .filter(c -> !c.reporter().equals(members.self()))
-                .map(c -> new TurnTakingTask.Other(c.reporter(), standing(c.state())))
+                .map(c -> new TurnTakingTask.PeerReport(c.reporter(), standing(c.state())))
                 .toList();
-        if (duty.defers(io.clock.now(), own, others)) {
+        if (duty.defersProbe(io.clock.now(), own, others)) {
             relay.defer(hosts.of(destination), DEFER_NS);
         }
     }
 
-    private static TurnTakingTask.Standing standing(Sender.Standing own) {
+    private static BreakerState standing(Sender.Standing own) {
         return switch (own) {
-            case CLOSED -> TurnTakingTask.Standing.CLOSED;
-            case HALF_OPEN -> TurnTakingTask.Standing.HALF_OPEN;
-            case OPEN -> TurnTakingTask.Standing.OPEN;
+            case CLOSED -> BreakerState.CLOSED;
+            case HALF_OPEN -> BreakerState.HALF_OPEN;
+            case OPEN -> BreakerState.OPEN;
         };
     }
 
-    private static TurnTakingTask.Standing standing(HealthReport.State said) {
+    private static BreakerState standing(HealthReport.State said) {
         return switch (said) {
-            case CLOSED -> TurnTakingTask.Standing.CLOSED;
-            case HALF_OPEN -> TurnTakingTask.Standing.HALF_OPEN;
-            case OPEN -> TurnTakingTask.Standing.OPEN;
+            case CLOSED -> BreakerState.CLOSED;
+            case HALF_OPEN -> BreakerState.HALF_OPEN;
+            case OPEN -> BreakerState.OPEN;
         };
     }
 }
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -7,6 +7,7 @@
 import elderseam.core.Clock;
 import elderseam.core.FinalOutcome;
 import elderseam.core.RequestAttributes;
+import elderseam.fleet.ClockDriftBound;
 import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionActivation;
 import elderseam.fleet.config.VersionContent;
@@ -23,6 +24,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.locks.LockSupport;
@@ -73,8 +75,9 @@
         this.refuses = s.get(SettingKeys.FLEET_VERSIONS_DOUBT).equals("refuse");
         this.sure = s.get(SettingKeys.REHEARSAL_VERSIONS).equals("no-confirm");
         this.atOnce = s.get(SettingKeys.REHEARSAL_VERSIONS).equals("at-commit");
-        ConfigurationVersion last = folder.acting();
-        this.rule = new VersionActivation(last, boundMs, s.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
+        ConfigurationVersion last = folder.loadActing();
+        this.rule = new VersionActivation(
+                last, boundMs, new ClockDriftBound(s.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0));
         if (last.number() > 0) {
             read(last).run();
         }
@@ -84,7 +87,7 @@
     }
 
     static String words(ConfigurationVersion v) {
-        return "version " + v.number() + " " + v.hash().substring(0, 12);
+        return "version " + v.number() + " " + v.shortHash();
     }
 
     // ---------------------------------------------------------------- on the I/O thread
@@ -105,7 +108,7 @@
 
     /** Where the texts of what it acts on lie as files. */
     Path texts() throws IOException {
-        return folder.texts(acting());
+        return folder.writeTexts(acting());
     }
 
     /**
@@ -147,8 +150,8 @@
         boolean switches;
         long next;
         synchronized (rule) {
-            switches = rule.tick(clock.now());
-            next = rule.nextAt();
+            switches = rule.advance(clock.now());
+            next = rule.nextChangeNs();
         }
         if (switches) {
             act();
@@ -166,14 +169,14 @@
     }
 
     private Runnable read(ConfigurationVersion v) throws IOException {
-        return reader.read(v.texts().isEmpty() ? null : folder.texts(v));
+        return reader.read(v.texts().isEmpty() ? null : folder.writeTexts(v));
     }
 
     private void act() {
         ConfigurationVersion v = acting();
         try {
             read(v).run();
-            folder.acting(v);
+            folder.saveActing(v);
             fault = "";
             System.err.println("versions: acts on " + words(v) + " by " + v.author() + ": " + v.note());
         } catch (IOException e) { // it passed here, or this one was away; what it says now counts
@@ -190,20 +193,16 @@
         }
         long now = clock.now(), until;
         synchronized (rule) {
-            until = now + boundMs * Clock.MS - rule.ageNs(now);
+            until = now + boundMs * Clock.MS - rule.confirmationAgeNs(now).orElse(Long.MAX_VALUE);
         }
         double rate = settings.get(SettingKeys.REHEARSAL_CLOCK_PERCENT) / 100.0;
         long at = System.nanoTime();
         boolean doubted = !sure && (!fault.isEmpty() || inDoubt());
-        history.at(
-                at,
-                "acting",
-                "number",
-                acting().number(),
-                "hash",
-                acting().hash().substring(0, 12),
-                "until_ns",
-                sure ? Long.MAX_VALUE : doubted ? at : at + (long) ((until - now) / rate));
+        history.eventAt(at, "acting")
+                .with("number", acting().number())
+                .with("hash", acting().shortHash())
+                .with("until_ns", sure ? Long.MAX_VALUE : doubted ? at : at + (long) ((until - now) / rate))
+                .append();
     }
 
     // ---------------------------------------------------------------- on a thread of its own
@@ -239,39 +238,26 @@
         long sent = clock.now();
         VersionTable.Outcome o;
         try {
-            o = group.versions(VersionTable.Command.confirm(settings.get(SettingKeys.FLEET_NAME)))
+            o = group.submit(VersionTable.Command.confirm(settings.get(SettingKeys.FLEET_NAME)))
                     .get();
         } catch (ExecutionException e) {
             return; // no majority, or no link: what it was sure of runs out
         }
-        LeaseStateMachine.Versions here = group.versions();
+        LeaseStateMachine.VersionView here = group.localVersions();
         if (here.latest().number() != kept) {
-            folder.keep(here.all());
+            folder.retain(here.committed());
             kept = here.latest().number();
         }
         synchronized (rule) {
             ConfigurationVersion known = here.latest();
-            rule.confirmed(
-                    sent,
-                    clock.now(),
-                    o,
-                    atOnce
-                            ? new ConfigurationVersion(
-                                    known.number(),
-                                    known.parent(),
-                                    known.author(),
-                                    known.note(),
-                                    known.texts(),
-                                    known.hash(),
-                                    0)
-                            : known);
+            rule.onConfirmation(sent, clock.now(), o, atOnce ? known.effectiveAt(0) : known);
         }
         io.run(this::tell);
     }
 
     /** What is proposed, read whole as if it were to act; nothing of it counts yet. */
     private void check() throws InterruptedException, IOException {
-        ConfigurationVersion v = group.versions().pending();
+        ConfigurationVersion v = group.localVersions().pending().orElse(null);
         if (v == null || v.number() <= looked) {
             return;
         }
@@ -282,7 +268,7 @@
             found = String.valueOf(e.getMessage()).lines().findFirst().orElse(e.toString());
         }
         try {
-            group.versions(VersionTable.Command.checked(settings.get(SettingKeys.FLEET_NAME), v.number(), found))
+            group.submit(VersionTable.Command.checked(settings.get(SettingKeys.FLEET_NAME), v.number(), found))
                     .get();
             looked = v.number();
         } catch (ExecutionException e) {
@@ -302,7 +288,7 @@
         if (g == null) {
             return CommandResult.no("the fleet's engine starts yet");
         }
-        LeaseStateMachine.Versions here = g.versions();
+        LeaseStateMachine.VersionView here = g.localVersions();
         return switch (c.verb()) {
             case STATUS -> new CommandResult(true, "config", status(here));
             case DIFF -> diff(here, c.a(), c.b());
@@ -311,25 +297,25 @@
         };
     }
 
-    private CommandResult rollback(LeaseGroup g, LeaseStateMachine.Versions here, OperatorCommand.Config c) {
+    private CommandResult rollback(LeaseGroup g, LeaseStateMachine.VersionView here, OperatorCommand.Config c) {
         ConfigurationVersion back = find(here, c.a());
         if (back == null) {
             return CommandResult.no("version " + c.a() + " is not kept");
         }
         propose(g, here.latest().number(), "back to " + c.a() + ": " + c.note(), back.texts());
-        return asked(back.hash().substring(0, 12));
+        return asked(back.shortHash());
     }
 
-    private static ConfigurationVersion find(LeaseStateMachine.Versions here, long number) {
+    private static ConfigurationVersion find(LeaseStateMachine.VersionView here, long number) {
         return number == 0
                 ? ConfigurationVersion.NONE
-                : here.all().stream()
+                : here.committed().stream()
                         .filter(v -> v.number() == number)
                         .findFirst()
                         .orElse(null);
     }
 
-    private CommandResult diff(LeaseStateMachine.Versions here, long a, long b) {
+    private CommandResult diff(LeaseStateMachine.VersionView here, long a, long b) {
         ConfigurationVersion from = find(here, a), to = find(here, b);
         return from == null || to == null
                 ? CommandResult.no("version " + (from == null ? a : b) + " is not kept")
@@ -341,7 +327,7 @@
         CompletableFuture.runAsync(() -> {
             try {
                 Map<String, String> texts = VersionContent.read(Path.of(c.path()));
-                String read = ConfigurationVersion.hash(texts).substring(0, 12);
+                String read = ConfigurationVersion.shortHash(texts);
                 if (read.equals(c.hash())) {
                     propose(g, c.a(), c.note(), texts);
                 } else {
@@ -361,19 +347,19 @@
     }
 
     private void propose(LeaseGroup g, long parent, String note, Map<String, String> texts) {
-        String hash = ConfigurationVersion.hash(texts).substring(0, 12);
+        String hash = ConfigurationVersion.shortHash(texts);
         try {
-            g.versions(VersionTable.Command.propose(
+            g.submit(VersionTable.Command.propose(
                             settings.get(SettingKeys.FLEET_NAME),
                             parent,
                             note,
                             texts,
-                            g.members().size(),
+                            g.memberNames().size(),
                             boundMs,
                             leadMs))
                     .whenComplete((o, e) -> {
-                        if (e != null || !o.word().isEmpty()) {
-                            refuse(hash, e != null ? "not decided: " + e.getMessage() : o.word());
+                        if (e != null || !o.accepted()) {
+                            refuse(hash, e != null ? "not decided: " + e.getMessage() : o.refusal());
                         } else {
                             refused = "";
                             System.err.println("versions: proposal " + hash + " is looked at");
@@ -389,30 +375,35 @@
         System.err.println("versions: proposal " + hash + " refused: " + why);
     }
 
-    private List<String> status(LeaseStateMachine.Versions here) {
+    private String confirmedMs(long now) {
+        OptionalLong age = rule.confirmationAgeNs(now);
+        return age.isEmpty() ? "never" : Long.toString(age.getAsLong() / Clock.MS);
+    }
+
+    private List<String> status(LeaseStateMachine.VersionView here) {
         long now = clock.now();
         List<String> lines = new ArrayList<>();
         synchronized (rule) {
-            lines.add("acting=" + rule.acting().number() + " "
-                    + rule.acting().hash().substring(0, 12));
+            lines.add("acting=" + rule.acting().number() + " " + rule.acting().shortHash());
             lines.add("doubt=" + (inDoubt() ? "yes" : "no"));
-            lines.add("confirmed_ms=" + (rule.ageNs(now) == Long.MAX_VALUE ? "never" : rule.ageNs(now) / Clock.MS));
-            lines.add("next=" + (rule.next() == null ? "none" : rule.next().number()));
+            lines.add("confirmed_ms=" + confirmedMs(now));
+            lines.add("next="
+                    + rule.scheduled().map(v -> Long.toString(v.number())).orElse("none"));
         }
-        lines.add(
-                "latest=" + here.latest().number() + " " + here.latest().hash().substring(0, 12));
+        lines.add("latest=" + here.latest().number() + " " + here.latest().shortHash());
         lines.add("pending="
-                + (here.pending() == null
+                + here.pending().map(v -> v.number() + " " + v.shortHash()).orElse("none"));
+        lines.add("ended=" + here.lastDecision().number() + " "
+                + (here.lastDecision().hash().isEmpty()
                         ? "none"
-                        : here.pending().number() + " " + here.pending().hash().substring(0, 12)));
-        lines.add("ended=" + here.ended().number() + " "
-                + (here.ended().hash().isEmpty() ? "none" : here.ended().hash().substring(0, 12)) + " "
-                + here.ended().word());
+                        : ConfigurationVersion.shorten(here.lastDecision().hash()))
+                + " "
+                + here.lastDecision().refusal());
         lines.add("refused=" + (refused.isEmpty() ? "none" : refused));
         lines.add("fault=" + (fault.isEmpty() ? "none" : fault));
-        for (ConfigurationVersion v : here.all()) {
-            lines.add("version=" + v.number() + " " + v.hash().substring(0, 12) + " from " + v.parent() + " by "
-                    + v.author() + ": " + v.note());
+        for (ConfigurationVersion v : here.committed()) {
+            lines.add("version=" + v.number() + " " + v.shortHash() + " from " + v.parent() + " by " + v.author() + ": "
+                    + v.note());
         }
         lines.add("EOF");
         return lines;
--- a/src/main/java/elderseam/cli/LabCommand.java
+++ b/src/main/java/elderseam/cli/LabCommand.java
@@ -1,6 +1,7 @@
 package elderseam.cli;
 
 import elderseam.fleet.partition.EndpointSubsetting;
+import elderseam.fleet.partition.SubsetMetrics;
 import elderseam.settings.Settings;
 import elderseam.testkit.emulator.Policies;
 import elderseam.testkit.emulator.Scenario;
@@ -344,25 +345,26 @@
             out.printf(
                     "%-10s %8s %14s %12s %12s %14s%n",
                     "way", "members", "max over mean", "one joins", "one leaves", "endpoint fails");
-            for (EndpointSubsetting.Way way : EndpointSubsetting.Way.values()) {
+            for (EndpointSubsetting.Algorithm way : EndpointSubsetting.Algorithm.values()) {
                 for (int n : members) {
-                    Map<String, List<String>> now = EndpointSubsetting.all(way, names("m", n), hosts, size);
+                    Map<String, List<String>> now = EndpointSubsetting.assign(way, names("m", n), hosts, size);
                     double
                             joins =
-                                    EndpointSubsetting.moved(
-                                            now, EndpointSubsetting.all(way, names("m", n + 1), hosts, size)),
+                                    SubsetMetrics.movedFraction(
+                                            now, EndpointSubsetting.assign(way, names("m", n + 1), hosts, size)),
                             leaves = 0,
                             fails = 0;
                     for (int i = 0; i < SAMPLES; i++) { // whoever it is that goes
                         List<String> rest = names("m", n);
                         rest.remove(i * n / SAMPLES);
-                        leaves +=
-                                EndpointSubsetting.moved(now, EndpointSubsetting.all(way, rest, hosts, size)) / SAMPLES;
+                        leaves += SubsetMetrics.movedFraction(now, EndpointSubsetting.assign(way, rest, hosts, size))
+                                / SAMPLES;
                         List<String> left = names("s", endpoints);
                         left.remove(i * endpoints / SAMPLES);
-                        fails += EndpointSubsetting.moved(
+                        fails += SubsetMetrics.movedFraction(
                                         now,
-                                        EndpointSubsetting.all(way, names("m", n), left, Math.min(size, left.size())))
+                                        EndpointSubsetting.assign(
+                                                way, names("m", n), left, Math.min(size, left.size())))
                                 / SAMPLES;
                     }
                     out.printf(
@@ -370,7 +372,7 @@
                             "%-10s %8d %14.3f %11.1f%% %11.1f%% %13.1f%%%n",
                             way.wireName(),
                             n,
-                            EndpointSubsetting.unevenness(now, hosts),
+                            SubsetMetrics.maxOverMeanLoad(now, hosts),
                             100 * joins,
                             100 * leaves,
                             100 * fails);
--- a/src/main/java/elderseam/cli/VersionsCommand.java
+++ b/src/main/java/elderseam/cli/VersionsCommand.java
@@ -114,8 +114,8 @@
 
         @Override
         public Integer call() throws IOException, InterruptedException {
-            String hash = ConfigurationVersion.hash(VersionContent.read(file))
-                    .substring(0, 12); // what is wrong with its form is told here already
+            String hash = ConfigurationVersion.shortHash(
+                    VersionContent.read(file)); // what is wrong with its form is told here already
             return proposed(
                     spec,
                     at,
@@ -160,7 +160,7 @@
             if (!Files.isDirectory(folder.resolve(CALLED))) {
                 throw new IOException(folder + ": no versions are kept there");
             }
-            return new VersionStore(folder.resolve(CALLED)).all();
+            return new VersionStore(folder.resolve(CALLED)).loadAll();
         }
     }
 
@@ -181,13 +181,12 @@
         public Integer call() throws IOException {
             PrintWriter out = spec.commandLine().getOut();
             if (where.folder != null) {
-                ConfigurationVersion acting = new VersionStore(where.folder.resolve(CALLED)).acting();
+                ConfigurationVersion acting = new VersionStore(where.folder.resolve(CALLED)).loadActing();
                 where.kept()
                         .forEach(v -> out.println((v.number() == acting.number() ? "* " : "  ") + v.number() + " "
-                                + v.hash().substring(0, 12) + " from " + v.parent() + " by " + v.author() + ": "
+                                + v.shortHash() + " from " + v.parent() + " by " + v.author() + ": "
                                 + v.note()));
-                out.println("acted on last: " + acting.number() + " "
-                        + acting.hash().substring(0, 12));
+                out.println("acted on last: " + acting.number() + " " + acting.shortHash());
                 return 0;
             }
             for (String at : where.at) {
--- a/src/main/java/elderseam/fleet/config/VersionActivation.java
+++ b/src/main/java/elderseam/fleet/config/VersionActivation.java
@@ -1,85 +1,111 @@
 package elderseam.fleet.config;
 
+import elderseam.fleet.ClockDriftBound;
+import java.util.Optional;
+import java.util.OptionalLong;
+
 /**
- * Which version a member may act on now, by its own clock. It acts on a version only while it has confirmed within the bound T
- * that nothing newer takes effect: a confirmation counts from the instant it was sent. Past that it is in doubt, and what may
- * contradict a version that it has not heard of is not acted on (docs/fleet-config.md says what that is).
+ * Which version a member may act on now, by its own clock. It acts on a version only while it has confirmed within the
+ * bound T that nothing newer takes effect; a confirmation counts from the instant it was sent. Past that the member is in
+ * doubt, and does not act on what a version that it has not heard of may contradict (docs/fleet-config.md says what that
+ * is).
  *
- * <p>A version is committed for an instant of the table's time, which each answer to a confirmation shows; it takes effect here
- * when that instant is sure to have come: counted from the receipt of the latest such answer, by this clock. Two members switch
- * apart by the time that an answer takes, and the drift of their clocks since; where the table's time stood still for a change of
- * leaders, by T at the most, since one that did not hear of that is in doubt by then.
+ * <p>A version is committed for an instant of table time, which each answer to a confirmation shows. It takes effect here
+ * when that instant has surely come: counted by this clock from the receipt of the latest such answer. Two members switch
+ * apart by the time that an answer takes and the drift of their clocks since. Where the table time stood still for a
+ * change of leader they may be apart by T at the most, because one that did not hear of that is in doubt by then.
  *
- * <p>Times are nanoseconds of the member's monotonic clock; not thread-safe.
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
 public final class VersionActivation {
-    private static final long MS = 1_000_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** No confirmation has been received. */
+    private static final long NEVER = Long.MIN_VALUE;
 
-    private final long boundNs;
-    private final double drift;
-    private ConfigurationVersion acting, next;
-    private long sureUntil = Long.MIN_VALUE, tableMs, tableAt = Long.MIN_VALUE;
-    private boolean behind = true; // the group has committed what this member's own copy of the table has not yet
+    private final long confirmationValidNs;
+    private ConfigurationVersion acting;
+    private Optional<ConfigurationVersion> scheduled = Optional.empty();
+    private long confirmedUntilNs = NEVER;
+    private long tableTimeMs; // as the latest confirmation showed it
+    private long tableTimeReceivedNs = NEVER;
 
-    /** {@code acting}: what it acted on last, in doubt until it is confirmed; {@code boundMs}: T; {@code drift}: of any clock. */
-    public VersionActivation(ConfigurationVersion acting, long boundMs, double drift) {
-        this.acting = acting;
-        this.boundNs = boundMs * MS;
-        this.drift = drift;
+    /**
+     * @param lastActing the version acted on last, in doubt until it is confirmed
+     * @param boundMs the bound T in milliseconds
+     * @param driftBound the bound on the drift of any member's clock
+     */
+    public VersionActivation(ConfigurationVersion lastActing, long boundMs, ClockDriftBound driftBound) {
+        this.acting = lastActing;
+        this.confirmationValidNs = (long) driftBound.shorten(boundMs * NANOS_PER_MILLI);
     }
 
-    /** The group answered a confirmation sent at {@code sentNs}: {@code latest} is committed, of which {@code known} is here. */
-    public void confirmed(long sentNs, long nowNs, VersionTable.Outcome o, ConfigurationVersion known) {
-        behind = o.latest() != known.number();
-        if (behind) {
-            return; // it may act on by its earlier word, no longer
+    /**
+     * The group answered a confirmation. If the group has committed a version that this member's own copy of the table
+     * does not contain yet, nothing is confirmed: the member acts on its earlier confirmation and no longer.
+     *
+     * @param sentNs when the confirmation was sent
+     * @param nowNs when the answer was received
+     * @param outcome the answer
+     * @param localLatest the latest version that this member's copy of the table contains
+     */
+    public void onConfirmation(
+            long sentNs, long nowNs, VersionTable.Outcome outcome, ConfigurationVersion localLatest) {
+        if (outcome.latestNumber() != localLatest.number()) {
+            return;
         }
-        sureUntil = Math.max(sureUntil, sentNs + (long) (boundNs * (1 - drift) / (1 + drift)));
-        tableMs = o.nowMs();
-        tableAt = nowNs;
-        if (known.number() > acting.number()) {
-            next = known;
+        confirmedUntilNs = Math.max(confirmedUntilNs, sentNs + confirmationValidNs);
+        tableTimeMs = outcome.tableTimeMs();
+        tableTimeReceivedNs = nowNs;
+        if (localLatest.number() > acting.number()) {
+            scheduled = Optional.of(localLatest);
         }
     }
 
-    /** Moves with the clock; whether another version is acted on from now on. */
-    public boolean tick(long nowNs) {
-        if (next != null && nowNs >= effectAt(next)) {
-            acting = next;
-            next = null;
-            return true;
+    /** Advances to {@code nowNs}; returns whether another version is acted on from now on. */
+    public boolean advance(long nowNs) {
+        if (nowNs < effectNs()) {
+            return false;
         }
-        return false;
+        acting = scheduled.orElseThrow();
+        scheduled = Optional.empty();
+        return true;
     }
 
-    private long effectAt(ConfigurationVersion v) {
-        return tableAt + Math.max(0, v.effectMs() - tableMs) * MS;
+    /** When the scheduled version takes effect, by this clock; {@link Long#MAX_VALUE} if none is scheduled. */
+    private long effectNs() {
+        if (scheduled.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        long remainingMs = Math.max(0, scheduled.get().effectiveAtMs() - tableTimeMs);
+        return tableTimeReceivedNs + remainingMs * NANOS_PER_MILLI;
     }
 
-    /** When it is to look again at the latest: an effect, or the end of what it is sure of. */
-    public long nextAt() {
-        return Math.min(next == null ? Long.MAX_VALUE : effectAt(next), sureUntil);
+    /** Returns when to look again at the latest: an effect, or the end of the last confirmation. */
+    public long nextChangeNs() {
+        return Math.min(effectNs(), confirmedUntilNs);
     }
 
-    /** Whether it may not know of a newer version that is in effect. */
+    /** Whether a newer version may be in effect that this member does not know of. */
     public boolean inDoubt(long nowNs) {
-        return nowNs >= sureUntil;
+        return nowNs >= confirmedUntilNs;
     }
 
-    /** What it acts on, where it is not in doubt; what it acted on last, where it is. */
+    /** The version that the member acts on, or acted on last if it is in doubt. */
     public ConfigurationVersion acting() {
         return acting;
     }
 
-    /** Committed, and not in effect yet; null where there is none. */
-    public ConfigurationVersion next() {
-        return next;
+    /** The version that is committed and not in effect yet, if any. */
+    public Optional<ConfigurationVersion> scheduled() {
+        return scheduled;
     }
 
-    /** How long ago the last confirmation that counts was sent, in nanoseconds; the longest there is where there was none. */
-    public long ageNs(long nowNs) {
-        return sureUntil == Long.MIN_VALUE
-                ? Long.MAX_VALUE
-                : nowNs - (sureUntil - (long) (boundNs * (1 - drift) / (1 + drift)));
+    /** Returns how long ago the last confirmation that counts was sent, in nanoseconds; empty if there was none. */
+    public OptionalLong confirmationAgeNs(long nowNs) {
+        if (confirmedUntilNs == NEVER) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(nowNs - (confirmedUntilNs - confirmationValidNs));
     }
 }
--- a/src/main/java/elderseam/fleet/config/VersionStore.java
+++ b/src/main/java/elderseam/fleet/config/VersionStore.java
@@ -2,109 +2,135 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
- * What a member keeps of versions in its own folder, so that it starts again on the one it acted on last, and an operator can look
- * at them while nothing runs: {@code acting.json}, {@code NUMBER.json} of those committed, and the texts of each as files below {@code
- * NUMBER/}. Each file is written whole or not at all.
+ * A member's directory of versions, so that it restarts on the version it acted on last, and an operator can inspect them
+ * while nothing runs: {@code acting.json}, {@code NUMBER.json} for each committed version, and the texts of a version as
+ * files below {@code NUMBER-HASH/}. Each file is written completely or not at all.
+ *
+ * <p>Not thread-safe: the caller writes one file at a time. All methods throw an IOException if the directory cannot be
+ * read or written.
  */
 public final class VersionStore {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String ACTING_FILE = "acting.json";
+    private static final Pattern VERSION_FILE = Pattern.compile("(\\d{1,18})\\.json");
+    private static final Pattern NUMBERED_ENTRY = Pattern.compile("(\\d{1,18})[.-].*");
 
-    private final Path folder;
+    private final Path directory;
 
-    public VersionStore(Path folder) throws IOException {
-        this.folder = Files.createDirectories(folder);
+    /** Creates the directory if it is missing. */
+    public VersionStore(Path directory) throws IOException {
+        this.directory = Files.createDirectories(directory);
     }
 
-    private void put(Path file, byte[] bytes) throws IOException {
-        Path fresh = file.resolveSibling(file.getFileName() + ".new");
-        Files.write(fresh, bytes);
-        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE);
-    }
-
-    /** Keeps these, which are committed, and drops all others with their texts, but for the one acted on. */
-    public void keep(List<ConfigurationVersion> committed) throws IOException {
-        Set<Long> numbers = new HashSet<>(Set.of(acting().number()));
-        for (ConfigurationVersion v : committed) {
-            numbers.add(v.number());
-            Path file = folder.resolve(v.number() + ".json");
+    /**
+     * Saves the committed versions and deletes all others with their texts, except the one acted on. Entries above the
+     * greatest number stay: a proposal may be being validated there.
+     */
+    public void retain(List<ConfigurationVersion> committed) throws IOException {
+        Set<Long> retained = new HashSet<>();
+        retained.add(loadActing().number());
+        for (ConfigurationVersion version : committed) {
+            retained.add(version.number());
+            Path file = directory.resolve(version.number() + ".json");
             if (!Files.exists(file)) {
-                put(file, JSON.writeValueAsBytes(v));
+                writeAtomically(file, JSON.writeValueAsBytes(version));
             }
         }
-        try (var all = Files.list(folder)) {
-            for (Path old : all.filter(p -> p.getFileName().toString().matches("\\d{1,18}[.-].*"))
-                    .toList()) {
-                long number = Long.parseLong(old.getFileName().toString().split("[.-]")[0]);
-                if (!numbers.contains(number) && number <= newest(numbers)) { // a higher one may be looked at just now
-                    drop(old);
-                }
+        long newest = retained.stream().mapToLong(Long::longValue).max().orElseThrow();
+        for (Path entry : entries(NUMBERED_ENTRY)) {
+            long number = numberOf(entry);
+            if (!retained.contains(number) && number <= newest) {
+                delete(entry);
             }
         }
     }
 
-    private static long newest(Set<Long> numbers) {
-        return numbers.stream().mapToLong(n -> n).max().orElse(0);
+    private List<Path> entries(Pattern name) throws IOException {
+        try (Stream<Path> all = Files.list(directory)) {
+            return all.filter(entry ->
+                            name.matcher(entry.getFileName().toString()).matches())
+                    .toList();
+        }
+    }
+
+    private static long numberOf(Path entry) {
+        Matcher matcher = NUMBERED_ENTRY.matcher(entry.getFileName().toString());
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException(entry + " has no number");
+        }
+        return Long.parseLong(matcher.group(1));
     }
 
-    private static void drop(Path old) throws IOException {
-        if (Files.isDirectory(old)) {
-            try (var inside = Files.list(old)) {
-                for (Path f : inside.toList()) {
-                    Files.delete(f);
+    private static void delete(Path entry) throws IOException {
+        if (Files.isDirectory(entry)) {
+            try (Stream<Path> files = Files.list(entry)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
                 }
             }
         }
-        Files.delete(old);
+        Files.delete(entry);
     }
 
-    /** Remembers that this one is acted on from now on. */
-    public void acting(ConfigurationVersion v) throws IOException {
-        put(folder.resolve("acting.json"), JSON.writeValueAsBytes(v));
+    /** Records that this version is acted on from now on. */
+    public void saveActing(ConfigurationVersion version) throws IOException {
+        writeAtomically(directory.resolve(ACTING_FILE), JSON.writeValueAsBytes(version));
     }
 
-    /** What was acted on last; {@link ConfigurationVersion#NONE} where nothing was. A file that can't be read is an error: a guess would be worse. */
-    public ConfigurationVersion acting() throws IOException {
-        Path file = folder.resolve("acting.json");
-        return Files.exists(file) ? read(file) : ConfigurationVersion.NONE;
+    /**
+     * Returns the version acted on last, {@link ConfigurationVersion#NONE} if there was none. Throws an IOException for a
+     * file that cannot be read, because a guess would be worse.
+     */
+    public ConfigurationVersion loadActing() throws IOException {
+        Path file = directory.resolve(ACTING_FILE);
+        return Files.exists(file) ? load(file) : ConfigurationVersion.NONE;
     }
 
-    private static ConfigurationVersion read(Path file) throws IOException {
-        ConfigurationVersion v = JSON.readValue(Files.readAllBytes(file), ConfigurationVersion.class);
-        if (!v.hash().equals(ConfigurationVersion.hash(v.texts()))) {
-            throw new IOException(file + ": its hash is not its content's");
+    /** Returns all committed versions that are kept, oldest first. */
+    public List<ConfigurationVersion> loadAll() throws IOException {
+        List<ConfigurationVersion> versions = new ArrayList<>();
+        for (Path file : entries(VERSION_FILE)) {
+            versions.add(load(file));
         }
-        return v;
+        versions.sort(Comparator.comparingLong(ConfigurationVersion::number));
+        return versions;
     }
 
-    /** All that are kept, oldest first. */
-    public List<ConfigurationVersion> all() throws IOException {
-        List<ConfigurationVersion> all = new ArrayList<>();
-        try (var files = Files.list(folder)) {
-            for (Path f : files.filter(p -> p.getFileName().toString().matches("\\d{1,18}\\.json"))
-                    .toList()) {
-                all.add(read(f));
-            }
+    private static ConfigurationVersion load(Path file) throws IOException {
+        ConfigurationVersion version = JSON.readValue(Files.readAllBytes(file), ConfigurationVersion.class);
+        if (!version.hash().equals(ConfigurationVersion.hash(version.texts()))) {
+            throw new IOException(file + ": its hash is not its content's");
         }
-        all.sort(java.util.Comparator.comparingLong(ConfigurationVersion::number));
-        return all;
+        return version;
     }
 
-    /** The texts of a version as files below a folder of its own, which is told. */
-    public Path texts(ConfigurationVersion v) throws IOException {
-        Path own = Files.createDirectories(
-                folder.resolve(v.number() + "-" + v.hash().substring(0, 12)));
-        for (var e : v.texts().entrySet()) {
-            put(own.resolve(e.getKey()), e.getValue().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    /** Writes the texts of a version as files and returns their directory. */
+    public Path writeTexts(ConfigurationVersion version) throws IOException {
+        Path texts = Files.createDirectories(directory.resolve(version.number() + "-" + version.shortHash()));
+        for (Map.Entry<String, String> text : version.texts().entrySet()) {
+            writeAtomically(texts.resolve(text.getKey()), text.getValue().getBytes(StandardCharsets.UTF_8));
         }
-        return own;
+        return texts;
+    }
+
+    private static void writeAtomically(Path file, byte[] bytes) throws IOException {
+        Path temporary = file.resolveSibling(file.getFileName() + ".new");
+        Files.write(temporary, bytes);
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
     }
 }
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -5,262 +5,381 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 
 /**
- * The replicated state of versions: those committed, and the one proposal that is looked at. A pure function of the commands in
- * the order of the engine's log; the leader stamps each with the table's time ({@link elderseam.fleet.lease.LeaderClock}).
+ * The replicated state of configuration versions: the committed ones and the one proposal that is being validated. A pure
+ * function of the commands in the order of the Raft log, each of which the leader stamps with the table time (see {@code
+ * elderseam.fleet.lease.LeaderClock}).
  *
- * <p>A proposal names the version it was made from, and is refused where that is not the latest (compare and set), or where another
- * is looked at. Each member that is there checks it whole on its own machine and says what it found. One fault refuses it for all. It is
- * committed once all members that confirmed within the bound T have found nothing, and they are a majority; it takes effect {@code leadMs}
- * later, which is no less than T, so that whoever has not heard of it by then is past its bound and acts on nothing it doubts.
+ * <p>A proposal names the version it was made from and is refused if that is not the latest (compare and set) or if
+ * another proposal is being validated. Each reachable member validates it completely on its own machine and reports the
+ * finding; one fault refuses it for all. It is committed once all members that confirmed within the bound T have found no
+ * fault and they are a majority. It takes effect {@code activationDelayMs} later, which is no less than T, so that a
+ * member that has not heard of it by then is past its bound and does not act on what it cannot be sure of.
+ *
+ * <p>Not thread-safe; the state machine applies one command at a time. Times are milliseconds of table time.
  */
 public final class VersionTable {
-    public enum Op {
+    /** The longest contents of a version, names included, in characters; a log entry has to hold them. */
+    public static final int MAX_CONTENT_CHARS = 40_000;
+
+    /** The longest note, in characters. */
+    public static final int MAX_NOTE_CHARS = 200;
+
+    /** How many committed versions are kept. */
+    public static final int MAX_KEPT_VERSIONS = 12;
+
+    /** A proposal that no majority has validated within so many bounds is refused. */
+    private static final int PROPOSAL_TIMEOUT_IN_BOUNDS = 10;
+
+    private static final long BEFORE_FIRST_COMMAND_MS = Long.MIN_VALUE;
+    private static final String ACCEPTED = "";
+    private static final String NO_FAULT = "";
+    private static final Pattern MEMBER_NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
+    private final TreeMap<Long, ConfigurationVersion> committed = new TreeMap<>();
+    private final Map<String, Long> confirmedAtMs = new LinkedHashMap<>();
+    private Proposal pending; // null while none is being validated
+    private Decision lastDecision = new Decision(0, "", ACCEPTED);
+    private long nowMs = BEFORE_FIRST_COMMAND_MS;
+    private long lastNumber; // the greatest number ever assigned, to a refused proposal too
+
+    /** What a command asks for. The constants' JSON names are part of the log format. */
+    public enum Operation {
+        /** To validate and commit new contents. */
         @JsonProperty("PROPOSE")
         PROPOSE,
+        /** To record what a member found when it validated the proposal. */
         @JsonProperty("CHECKED")
         CHECKED,
+        /** To learn which version is the latest, and to record that the member is there. */
         @JsonProperty("CONFIRM")
         CONFIRM
     }
 
     /**
-     * One command. PROPOSE: {@code number} is the parent, {@code texts} the content. CHECKED: {@code number} the proposal, {@code fault}
-     * empty where it passed. CONFIRM: what is committed? {@code members}: how many the group has; {@code boundMs}: T, of the proposal.
+     * One command, as stored in the log. The constructor throws {@link IllegalArgumentException} for a command that may
+     * not enter the log.
+     *
+     * @param operation what is asked for
+     * @param member the name of the member that asks
+     * @param number of PROPOSE: the parent; of CHECKED: the proposal
+     * @param note of PROPOSE: why
+     * @param texts of PROPOSE: the contents by file name
+     * @param fault of CHECKED: what is wrong with the proposal, empty if nothing is
+     * @param groupSize of PROPOSE: how many members the group has
+     * @param boundMs of PROPOSE: the bound T, for how long a member may act on a confirmation, in milliseconds
+     * @param activationDelayMs of PROPOSE: from commit to effect, in milliseconds
+     * @param tableTimeMs the leader's timestamp, set when the leader accepts the command
      */
     public record Command(
-            @JsonProperty("op") Op op,
+            @JsonProperty("op") Operation operation,
             @JsonProperty("member") String member,
             @JsonProperty("number") long number,
             @JsonProperty("note") String note,
             @JsonProperty("texts") Map<String, String> texts,
             @JsonProperty("fault") String fault,
-            @JsonProperty("members") int members,
+            @JsonProperty("members") int groupSize,
             @JsonProperty("boundMs") long boundMs,
-            @JsonProperty("leadMs") long leadMs,
-            @JsonProperty("atMs") long atMs) {
-        /** Checks the form; an IllegalArgumentException names the fault. */
+            @JsonProperty("leadMs") long activationDelayMs,
+            @JsonProperty("atMs") long tableTimeMs) {
+        /** Throws {@link IllegalArgumentException} with the reason if the command is malformed. */
         public Command {
-            if (op == null || member == null || !member.matches("[A-Za-z0-9._-]{1,64}")) {
+            if (operation == null
+                    || member == null
+                    || !MEMBER_NAME.matcher(member).matches()) {
                 throw new IllegalArgumentException("member '" + member + "': 1 to 64 of A-Z a-z 0-9 . _ - allowed");
             }
-            if (op == Op.PROPOSE
-                    && (texts == null
-                            || ConfigurationVersion.size(texts) > MOST
-                            || note == null
-                            || note.length() > MOST_NOTE)) {
-                throw new IllegalArgumentException(
-                        "a version has at most " + MOST + " characters, and a note " + MOST_NOTE);
+            if (operation == Operation.PROPOSE) {
+                checkContent(note, texts);
+                if (boundMs < 1 || activationDelayMs < boundMs || groupSize < 1) {
+                    throw new IllegalArgumentException(
+                            "a version takes effect no sooner than the bound after its commit");
+                }
             }
-            if (op == Op.PROPOSE && (boundMs < 1 || leadMs < boundMs || members < 1)) {
-                throw new IllegalArgumentException("a version takes effect no sooner than the bound after its commit");
+        }
+
+        private static void checkContent(String note, Map<String, String> texts) {
+            boolean textsFit = texts != null && ConfigurationVersion.countChars(texts) <= MAX_CONTENT_CHARS;
+            boolean noteFits = note != null && note.length() <= MAX_NOTE_CHARS;
+            if (!textsFit || !noteFits) {
+                throw new IllegalArgumentException(
+                        "a version has at most " + MAX_CONTENT_CHARS + " characters, and a note " + MAX_NOTE_CHARS);
             }
         }
 
+        /** Proposes contents that were made from the version {@code parent}. */
         public static Command propose(
                 String member,
                 long parent,
                 String note,
                 Map<String, String> texts,
-                int members,
+                int groupSize,
                 long boundMs,
-                long leadMs) {
-            return new Command(Op.PROPOSE, member, parent, note, texts, "", members, boundMs, leadMs, 0);
+                long activationDelayMs) {
+            return new Command(
+                    Operation.PROPOSE, member, parent, note, texts, NO_FAULT, groupSize, boundMs, activationDelayMs, 0);
         }
 
+        /** Reports what {@code member} found in the proposal {@code number}; empty if nothing is wrong. */
         public static Command checked(String member, long number, String fault) {
-            return new Command(Op.CHECKED, member, number, "", Map.of(), fault, 1, 1, 1, 0);
+            return new Command(Operation.CHECKED, member, number, "", Map.of(), fault, 1, 1, 1, 0);
         }
 
+        /** Asks which version is the latest. */
         public static Command confirm(String member) {
-            return new Command(Op.CONFIRM, member, 0, "", Map.of(), "", 1, 1, 1, 0);
+            return new Command(Operation.CONFIRM, member, 0, "", Map.of(), NO_FAULT, 1, 1, 1, 0);
         }
 
-        public Command stamped(long at) {
-            return new Command(op, member, number, note, texts, fault, members, boundMs, leadMs, at);
+        /** The same command with the leader's timestamp. */
+        public Command stamped(long leaderTimeMs) {
+            return new Command(
+                    operation, member, number, note, texts, fault, groupSize, boundMs, activationDelayMs, leaderTimeMs);
         }
     }
 
-    /** {@code word}: empty, or why it was refused; {@code latest}: the newest committed version, {@code nowMs} the table's time. */
+    /**
+     * The result of a command, sent back to the member that asked.
+     *
+     * @param refusal why the command was refused; empty if it was accepted
+     * @param latestNumber the number of the latest committed version
+     * @param tableTimeMs the table time
+     */
     public record Outcome(
-            @JsonProperty("word") String word,
-            @JsonProperty("latest") long latest,
-            @JsonProperty("nowMs") long nowMs) {}
+            @JsonProperty("word") String refusal,
+            @JsonProperty("latest") long latestNumber,
+            @JsonProperty("nowMs") long tableTimeMs) {
+        /** Whether the command was accepted. */
+        public boolean accepted() {
+            return refusal.isEmpty();
+        }
+    }
 
-    /** A proposal that is looked at, and what was found: by member, empty for nothing. */
-    public record Pending(
+    /**
+     * A proposal that is being validated.
+     *
+     * @param version what is proposed
+     * @param groupSize how many members the group has
+     * @param boundMs the bound T
+     * @param activationDelayMs from commit to effect
+     * @param proposedAtMs when the proposal was accepted, in table time
+     * @param findings the members that have validated it, each with the fault found or an empty text
+     */
+    public record Proposal(
             @JsonProperty("version") ConfigurationVersion version,
-            @JsonProperty("members") int members,
+            @JsonProperty("members") int groupSize,
             @JsonProperty("boundMs") long boundMs,
-            @JsonProperty("leadMs") long leadMs,
-            @JsonProperty("fromMs") long fromMs,
-            @JsonProperty("found") Map<String, String> found) {}
+            @JsonProperty("leadMs") long activationDelayMs,
+            @JsonProperty("fromMs") long proposedAtMs,
+            @JsonProperty("found") Map<String, String> findings) {
+        private Proposal copy() {
+            Map<String, String> findingsCopy = new LinkedHashMap<>(findings);
+            return new Proposal(version, groupSize, boundMs, activationDelayMs, proposedAtMs, findingsCopy);
+        }
+    }
 
-    /** What became of a proposal, for those who ask. */
-    public record Ended(
+    /**
+     * What became of the proposal that was validated last.
+     *
+     * @param number its number; 0 before the first decision
+     * @param hash its hash; empty before the first decision
+     * @param refusal why it was refused; empty if it was committed
+     */
+    public record Decision(
             @JsonProperty("number") long number,
             @JsonProperty("hash") String hash,
-            @JsonProperty("word") String word) {}
+            @JsonProperty("word") String refusal) {}
 
-    /** The most characters of a version, as one entry of the log holds; of a note; versions that are kept. */
-    public static final int MOST = 40_000, MOST_NOTE = 200, KEPT = 12;
+    /**
+     * The whole table, for a Raft snapshot.
+     *
+     * @param committed the committed versions that are kept, oldest first
+     * @param confirmedAtMs when each member confirmed last, in table time
+     * @param pending the proposal that is being validated, or null
+     * @param lastDecision what became of the one before
+     * @param tableTimeMs the table time
+     * @param lastNumber the greatest number ever assigned
+     */
+    public record Snapshot(
+            @JsonProperty("committed") List<ConfigurationVersion> committed,
+            @JsonProperty("confirmed") Map<String, Long> confirmedAtMs,
+            @JsonProperty("pending") Proposal pending,
+            @JsonProperty("ended") Decision lastDecision,
+            @JsonProperty("nowMs") long tableTimeMs,
+            @JsonProperty("last") long lastNumber) {}
 
-    private final TreeMap<Long, ConfigurationVersion> committed = new TreeMap<>();
-    private final Map<String, Long> confirmed =
-            new LinkedHashMap<>(); // by member: when it last did, in the table's time
-    private Pending pending;
-    private Ended ended = new Ended(0, "", "");
-    private long now = Long.MIN_VALUE, last; // last: the highest number ever given, to a refused one too
-
-    /** Applies one command in log order. */
-    public Outcome apply(Command c) {
-        now = Math.max(now, c.atMs());
-        String word = switch (c.op()) {
-            case PROPOSE -> propose(c);
-            case CHECKED -> checked(c);
-            case CONFIRM -> {
-                confirmed.put(c.member(), now);
-                yield "";
-            }
+    /** Applies one command in log order; the effect depends on the table and the command alone. */
+    public Outcome apply(Command command) {
+        nowMs = Math.max(nowMs, command.tableTimeMs());
+        String refusal = switch (command.operation()) {
+            case PROPOSE -> propose(command);
+            case CHECKED -> recordFinding(command);
+            case CONFIRM -> confirm(command);
         };
-        decide();
-        return new Outcome(word, latest().number(), now);
+        decidePending();
+        return new Outcome(refusal, latest().number(), nowMs);
     }
 
-    private String propose(Command c) {
-        if (asked(c, pending()) || asked(c, latest())) {
-            return ""; // the same once more, since its answer was lost
+    private String confirm(Command command) {
+        confirmedAtMs.put(command.member(), nowMs);
+        return ACCEPTED;
+    }
+
+    private String propose(Command command) {
+        ConfigurationVersion latest = latest();
+        if (isRepeated(command)) {
+            return ACCEPTED;
         }
-        if (c.number() != latest().number()) {
-            return "made from version " + c.number() + ", the latest is " + latest().number();
+        if (command.number() != latest.number()) {
+            return "made from version " + command.number() + ", the latest is " + latest.number();
         }
         if (pending != null) {
-            return "version " + pending.version.number() + " of " + pending.version.author()
-                    + " is looked at, ask again when that has ended";
+            return "version " + pending.version().number() + " of "
+                    + pending.version().author() + " is looked at, ask again when that has ended";
         }
-        if (now < latest().effectMs()) {
-            return "version " + latest().number() + " takes effect in " + (latest().effectMs() - now)
-                    + " ms, ask again then";
+        if (nowMs < latest.effectiveAtMs()) {
+            long remainingMs = latest.effectiveAtMs() - nowMs;
+            return "version " + latest.number() + " takes effect in " + remainingMs + " ms, ask again then";
         }
-        ConfigurationVersion v = ConfigurationVersion.of(++last, c.number(), c.member(), c.note(), c.texts());
-        pending = new Pending(v, c.members(), c.boundMs(), c.leadMs(), now, new LinkedHashMap<>());
-        return "";
+        lastNumber++;
+        ConfigurationVersion version = ConfigurationVersion.proposed(
+                lastNumber, command.number(), command.member(), command.note(), command.texts());
+        pending = new Proposal(
+                version,
+                command.groupSize(),
+                command.boundMs(),
+                command.activationDelayMs(),
+                nowMs,
+                new LinkedHashMap<>());
+        return ACCEPTED;
+    }
+
+    /** Whether the command is a retry of a proposal whose answer was lost. */
+    private boolean isRepeated(Command command) {
+        return isProposalOf(command, latest()) || pending != null && isProposalOf(command, pending.version());
     }
 
-    private static boolean asked(Command c, ConfigurationVersion v) {
-        return v != null
-                && v.number() > 0
-                && v.parent() == c.number()
-                && v.author().equals(c.member())
-                && v.note().equals(c.note())
-                && v.texts().equals(c.texts());
+    private static boolean isProposalOf(Command command, ConfigurationVersion version) {
+        return version.number() > 0
+                && version.parent() == command.number()
+                && version.author().equals(command.member())
+                && version.note().equals(command.note())
+                && version.texts().equals(command.texts());
     }
 
-    private String checked(Command c) {
-        if (pending == null || pending.version.number() != c.number()) {
-            return "version " + c.number() + " is not looked at";
+    private String recordFinding(Command command) {
+        if (pending == null || pending.version().number() != command.number()) {
+            return "version " + command.number() + " is not looked at";
         }
-        pending.found.put(c.member(), c.fault());
-        return "";
+        pending.findings().put(command.member(), command.fault());
+        return ACCEPTED;
     }
 
-    /** Ends the look at a proposal where all that counts was found, or nothing more will be. */
-    private void decide() {
+    /** Commits or refuses the pending proposal as soon as enough members have reported, or too few did in time. */
+    private void decidePending() {
         if (pending == null) {
             return;
         }
-        for (Map.Entry<String, String> f : pending.found.entrySet()) {
-            if (!f.getValue().isEmpty()) {
-                end("refused: " + f.getKey() + ": " + f.getValue());
-                return;
-            }
+        Optional<String> fault = firstFault();
+        if (fault.isPresent()) {
+            close("refused: " + fault.get());
+        } else if (isValidated()) {
+            commitPending();
+            close(ACCEPTED);
+        } else if (nowMs - pending.proposedAtMs() > PROPOSAL_TIMEOUT_IN_BOUNDS * pending.boundMs()) {
+            close("refused: not looked at by a majority in time");
         }
-        boolean waited =
-                now - pending.fromMs >= pending.boundMs; // whoever has not confirmed since acts on nothing it doubts
-        List<String> there = confirmed.entrySet().stream()
-                .filter(e -> now - e.getValue() < pending.boundMs)
+    }
+
+    /** Returns the first reported fault, preceded by the member's name. */
+    private Optional<String> firstFault() {
+        return pending.findings().entrySet().stream()
+                .filter(finding -> !finding.getValue().isEmpty())
+                .map(finding -> finding.getKey() + ": " + finding.getValue())
+                .findFirst();
+    }
+
+    /**
+     * Whether all members have validated the proposal, or a majority with every member that confirmed within the bound.
+     * For the latter a whole bound has to pass: whoever has not confirmed since then acts on nothing uncertain.
+     */
+    private boolean isValidated() {
+        int validated = pending.findings().size();
+        if (validated >= pending.groupSize()) {
+            return true;
+        }
+        boolean isMajority = 2 * validated > pending.groupSize();
+        boolean boundPassed = nowMs - pending.proposedAtMs() >= pending.boundMs();
+        return isMajority && boundPassed && pending.findings().keySet().containsAll(recentlyConfirmed());
+    }
+
+    private List<String> recentlyConfirmed() {
+        return confirmedAtMs.entrySet().stream()
+                .filter(confirmation -> nowMs - confirmation.getValue() < pending.boundMs())
                 .map(Map.Entry::getKey)
                 .toList();
-        boolean majority = 2 * pending.found.size() > pending.members;
-        if (pending.found.size() >= pending.members
-                || majority && waited && pending.found.keySet().containsAll(there)) {
-            committed.put(pending.version.number(), pending.version.effective(now + pending.leadMs));
-            while (committed.size() > KEPT) {
-                committed.pollFirstEntry();
-            }
-            end("");
-        } else if (now - pending.fromMs > 10 * pending.boundMs) {
-            end("refused: not looked at by a majority in time");
+    }
+
+    private void commitPending() {
+        long effectiveAtMs = nowMs + pending.activationDelayMs();
+        committed.put(pending.version().number(), pending.version().effectiveAt(effectiveAtMs));
+        while (committed.size() > MAX_KEPT_VERSIONS) {
+            committed.pollFirstEntry();
         }
     }
 
-    private void end(String word) {
-        ended = new Ended(pending.version.number(), pending.version.hash(), word);
+    private void close(String refusal) {
+        lastDecision =
+                new Decision(pending.version().number(), pending.version().hash(), refusal);
         pending = null;
     }
 
-    /** The newest committed one, {@link ConfigurationVersion#NONE} before the first. */
+    /** The latest committed version, {@link ConfigurationVersion#NONE} before the first. */
     public ConfigurationVersion latest() {
         return committed.isEmpty()
                 ? ConfigurationVersion.NONE
                 : committed.lastEntry().getValue();
     }
 
-    /** That committed version, or null. */
-    public ConfigurationVersion version(long number) {
-        return number == 0 ? ConfigurationVersion.NONE : committed.get(number);
-    }
-
-    /** All that are kept, oldest first. */
-    public List<ConfigurationVersion> all() {
+    /** A copy of the committed versions that are kept, oldest first. */
+    public List<ConfigurationVersion> committed() {
         return new ArrayList<>(committed.values());
     }
 
-    /** The proposal that is looked at, or null. */
-    public ConfigurationVersion pending() {
-        return pending == null ? null : pending.version;
+    /** The proposal that is being validated, if any. */
+    public Optional<ConfigurationVersion> pending() {
+        return Optional.ofNullable(pending).map(Proposal::version);
     }
 
-    public Ended ended() {
-        return ended;
+    /** What became of the proposal that was validated last. */
+    public Decision lastDecision() {
+        return lastDecision;
     }
 
-    public long now() {
-        return now;
+    /** The table time: the greatest timestamp applied, in milliseconds since the group's first command. */
+    public long tableTimeMs() {
+        return nowMs;
     }
 
-    /** All of it, for a snapshot. */
-    public record Image(
-            @JsonProperty("committed") List<ConfigurationVersion> committed,
-            @JsonProperty("confirmed") Map<String, Long> confirmed,
-            @JsonProperty("pending") Pending pending,
-            @JsonProperty("ended") Ended ended,
-            @JsonProperty("nowMs") long nowMs,
-            @JsonProperty("last") long last) {}
-
-    public Image image() {
-        Pending p = pending == null
-                ? null
-                : new Pending(
-                        pending.version,
-                        pending.members,
-                        pending.boundMs,
-                        pending.leadMs,
-                        pending.fromMs,
-                        new LinkedHashMap<>(pending.found));
-        return new Image(all(), new LinkedHashMap<>(confirmed), p, ended, now, last);
+    /** Returns a copy of the whole state. */
+    public Snapshot snapshot() {
+        Proposal pendingCopy = pending == null ? null : pending.copy();
+        Map<String, Long> confirmations = new LinkedHashMap<>(confirmedAtMs);
+        return new Snapshot(committed(), confirmations, pendingCopy, lastDecision, nowMs, lastNumber);
     }
 
-    public void restore(Image saved) {
+    /** Replaces the whole state, table time included, by that of a snapshot. */
+    public void restore(Snapshot snapshot) {
         committed.clear();
-        saved.committed().forEach(v -> committed.put(v.number(), v));
-        confirmed.clear();
-        confirmed.putAll(saved.confirmed());
-        pending = saved.pending();
-        ended = saved.ended();
-        now = saved.nowMs();
-        last = saved.last();
+        snapshot.committed().forEach(version -> committed.put(version.number(), version));
+        confirmedAtMs.clear();
+        confirmedAtMs.putAll(snapshot.confirmedAtMs());
+        pending = snapshot.pending();
+        lastDecision = snapshot.lastDecision();
+        nowMs = snapshot.tableTimeMs();
+        lastNumber = snapshot.lastNumber();
     }
 }
--- a/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
+++ b/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
@@ -1,29 +1,36 @@
 package elderseam.fleet.lease;
 
+import java.util.OptionalLong;
+
 /**
- * Whether a member orders a certificate itself or waits for the one that the lease's holder passes on. The holder orders; the
- * others wait while they know of a holder, and for {@code patienceMs} where they know of none. From the last instant on, well
- * before the certificate they have ends, each orders for itself: the lease spares orders, and never lets a certificate end.
- * No I/O; times are milliseconds of one clock.
+ * Whether a member orders a certificate itself or waits for the one that the lease holder publishes. The holder orders;
+ * the others wait while they know of a holder, and for a limited time if they know of none. From the deadline on, well
+ * before the present certificate expires, every member orders for itself: the lease saves orders and never lets a
+ * certificate expire.
+ *
+ * <p>Does no I/O; not thread-safe. Times are milliseconds of one clock.
  */
 public final class CertificateOrderTask {
-    private final long patienceMs;
-    private long silentSince = -1;
+    private final long ownerlessPatienceMs;
+    private OptionalLong ownerlessSinceMs = OptionalLong.empty();
 
-    public CertificateOrderTask(long patienceMs) {
-        this.patienceMs = patienceMs;
+    /** {@code ownerlessPatienceMs}: how long to wait while no holder is known. */
+    public CertificateOrderTask(long ownerlessPatienceMs) {
+        this.ownerlessPatienceMs = ownerlessPatienceMs;
     }
 
-    /** {@code holds}: this member has the lease; {@code another}: another is known to have it. */
-    public boolean own(long nowMs, long lastMs, boolean holds, boolean another) {
-        if (holds || nowMs >= lastMs) {
+    /** Whether this member orders now, {@code deadlineMs} being the instant from which it waits for nobody. */
+    public boolean isOrderedHere(long nowMs, long deadlineMs, LeaseOwner owner) {
+        if (owner == LeaseOwner.THIS_MEMBER || nowMs >= deadlineMs) {
             return true;
         }
-        if (another) {
-            silentSince = -1;
+        if (owner == LeaseOwner.ANOTHER_MEMBER) {
+            ownerlessSinceMs = OptionalLong.empty();
             return false;
         }
-        silentSince = silentSince < 0 ? nowMs : silentSince;
-        return nowMs - silentSince >= patienceMs;
+        if (ownerlessSinceMs.isEmpty()) {
+            ownerlessSinceMs = OptionalLong.of(nowMs);
+        }
+        return nowMs - ownerlessSinceMs.getAsLong() >= ownerlessPatienceMs;
     }
 }
--- a/src/main/java/elderseam/fleet/lease/FencingTokenCheck.java
+++ b/src/main/java/elderseam/fleet/lease/FencingTokenCheck.java
@@ -4,20 +4,21 @@
 import java.util.Map;
 
 /**
- * The resource's side of a lease: an act comes with its fencing token, and one older than the newest seen for that name
- * is refused. A holder that was stalled past its lease and acts on waking is stopped here, whatever its own clock told it.
- * Not thread-safe: the resource's one thread owns it.
+ * The resource's side of a lease: every act carries its fencing token, and an act with a token older than the newest one
+ * seen for that lease is rejected. This stops a holder that was stalled past its lease and acts when it resumes, whatever
+ * its own clock said.
+ *
+ * <p>Not thread-safe; confined to the resource's thread.
  */
 public final class FencingTokenCheck {
-    private final Map<String, Long> newest = new HashMap<>();
+    private final Map<String, Long> newestTokens = new HashMap<>();
 
-    /** Whether the act of {@code token} on {@code name} may take effect; taking it raises the name's newest token. */
-    public boolean admit(String name, long token) {
-        long seen = newest.getOrDefault(name, 0L);
-        if (token < seen) {
+    /** Whether an act under {@code lease} with {@code token} may take effect; if so, older tokens are rejected from now on. */
+    public boolean admit(String lease, long token) {
+        if (token < newestTokens.getOrDefault(lease, 0L)) {
             return false;
         }
-        newest.put(name, token);
+        newestTokens.put(lease, token);
         return true;
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/fleet/lease/GroupCommand.java
@@ -0,0 +1,25 @@
+package elderseam.fleet.lease;
+
+import elderseam.fleet.config.VersionTable;
+
+/** A command in the group's Raft log; the log serves two tables, both stamped by the same {@link LeaderClock}. */
+sealed interface GroupCommand {
+    /** The same command with the leader's timestamp, in milliseconds of table time. */
+    GroupCommand stamped(long tableTimeMs);
+
+    /** A command for the {@link LeaseTable}. */
+    record OnLeases(LeaseTable.Command command) implements GroupCommand {
+        @Override
+        public OnLeases stamped(long tableTimeMs) {
+            return new OnLeases(command.stamped(tableTimeMs));
+        }
+    }
+
+    /** A command for the {@link VersionTable}. */
+    record OnVersions(VersionTable.Command command) implements GroupCommand {
+        @Override
+        public OnVersions stamped(long tableTimeMs) {
+            return new OnVersions(command.stamped(tableTimeMs));
+        }
+    }
+}
--- a/src/main/java/elderseam/fleet/lease/LeaderClock.java
+++ b/src/main/java/elderseam/fleet/lease/LeaderClock.java
@@ -1,23 +1,35 @@
 package elderseam.fleet.lease;
 
 /**
- * The stamps that one member gives while it leads: the table's time as it stood when its term began, and what its own
- * monotonic clock has shown since. No wall clock is read, so none can be wrong; where the lead passes on, the table's time
- * stands still for the change and a lease gets longer, never shorter. Between any two stamps, of whichever leaders, the
- * table's time has moved by no more than true time did, times the rate of the fastest clock.
+ * The timestamps that one member assigns to commands while it leads the group: the table time at the start of its term
+ * plus what its own monotonic clock has advanced since. No wall clock is read, so none can be wrong. Across a change of
+ * leader the table time stands still, which lengthens a lease and never shortens it. Between any two timestamps, of
+ * whichever leaders, the table time advances by at most the true time times the rate of the fastest clock.
  *
- * <p>Not thread-safe; what it is given must be read in one step with the table.
+ * <p>Not thread-safe; the arguments must be read atomically with the table.
  */
 final class LeaderClock {
-    private long term = -1, baseMs, fromNs;
+    private static final long NO_TERM = -1;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** The stamp in milliseconds of the table's time, in the leader's {@code term}, at {@code nowNs} of its clock. */
-    long stamp(long term, long tableMs, long nowNs) {
-        if (term != this.term) { // a lead that was lost and won back begins anew: others stamped meanwhile
-            this.term = term;
-            baseMs = Math.max(0, tableMs);
-            fromNs = nowNs;
+    private long leadingTerm = NO_TERM;
+    private long tableTimeAtTermStartMs;
+    private long termStartNs;
+
+    /**
+     * Returns the timestamp of a command in milliseconds of table time. A leadership that was lost and regained starts
+     * over, because other members assigned timestamps in between.
+     *
+     * @param term the Raft term in which this member leads
+     * @param tableTimeMs the present table time, negative before the first command
+     * @param nowNs the member's monotonic clock
+     */
+    long stamp(long term, long tableTimeMs, long nowNs) {
+        if (term != leadingTerm) {
+            leadingTerm = term;
+            tableTimeAtTermStartMs = Math.max(0, tableTimeMs);
+            termStartNs = nowNs;
         }
-        return baseMs + (nowNs - fromNs) / 1_000_000;
+        return tableTimeAtTermStartMs + (nowNs - termStartNs) / NANOS_PER_MILLI;
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseCodec.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseCodec.java
@@ -6,78 +6,97 @@
 import elderseam.fleet.config.VersionTable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Optional;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 
 /**
- * Commands and outcomes as they cross the engine: JSON by Jackson, decoded once into the table's typed values. The names in the
- * JSON are those of the {@code @JsonProperty} annotations and never change, since earlier builds' logs and snapshots have them.
+ * The bytes of commands in the Raft log, of their outcomes and of snapshots: JSON, mapped by Jackson. A command on
+ * versions is marked by a leading byte; a snapshot is the lease table's JSON object with the version table as one more
+ * field. Stateless and thread-safe.
  */
 final class LeaseCodec {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Precedes a command on versions; no JSON text starts with it. */
+    private static final byte VERSION_COMMAND_MARK = 'V';
+
+    private static final String VERSIONS_FIELD = "versions";
+
+    /**
+     * Both tables of a Raft snapshot.
+     *
+     * @param leases the lease table
+     * @param versions the version table; empty in a snapshot that was written before versions existed
+     */
+    record GroupSnapshot(LeaseTable.Snapshot leases, Optional<VersionTable.Snapshot> versions) {}
+
     private LeaseCodec() {}
 
-    static ByteString encode(Object value) {
-        try {
-            return ByteString.copyFrom(JSON.writeValueAsBytes(value));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // records of strings and numbers always encode
+    static ByteString encodeCommand(GroupCommand command) {
+        if (command instanceof GroupCommand.OnVersions onVersions) {
+            ByteString mark = ByteString.copyFrom(new byte[] {VERSION_COMMAND_MARK});
+            return mark.concat(encode(onVersions.command()));
         }
+        return encode(((GroupCommand.OnLeases) command).command());
     }
 
-    /** A command, or an IOException naming what is wrong with the bytes: the engine answers that request with it. */
-    static LeaseTable.Command command(ByteString bytes) throws IOException {
+    /** Throws an IOException that says what is wrong with the bytes; the engine answers the request with it. */
+    static GroupCommand decodeCommand(ByteString bytes) throws IOException {
+        if (!bytes.isEmpty() && bytes.byteAt(0) == VERSION_COMMAND_MARK) {
+            ByteString json = bytes.substring(1);
+            return new GroupCommand.OnVersions(decodeCommand(json, VersionTable.Command.class, "version command"));
+        }
+        return new GroupCommand.OnLeases(decodeCommand(bytes, LeaseTable.Command.class, "lease command"));
+    }
+
+    private static <T> T decodeCommand(ByteString json, Class<T> type, String description) throws IOException {
         try {
-            return JSON.readValue(bytes.toByteArray(), LeaseTable.Command.class);
+            return JSON.readValue(json.toByteArray(), type);
         } catch (IllegalArgumentException e) {
-            throw new IOException("lease command: " + e.getMessage(), e);
+            throw new IOException(description + ": " + e.getMessage(), e);
         }
     }
 
-    /** A command on versions stands behind this byte, which begins no JSON. */
-    private static final byte VERSIONS = 'V';
-
-    private static final String MORE = "versions";
-
-    static boolean isVersions(ByteString bytes) {
-        return !bytes.isEmpty() && bytes.byteAt(0) == VERSIONS;
+    static ByteString encodeOutcome(LeaseTable.Outcome outcome) {
+        return encode(outcome);
     }
 
-    static ByteString encodeVersions(VersionTable.Command command) {
-        return ByteString.copyFrom(new byte[] {VERSIONS}).concat(encode(command));
+    static ByteString encodeOutcome(VersionTable.Outcome outcome) {
+        return encode(outcome);
     }
 
-    static VersionTable.Command versions(ByteString bytes) throws IOException {
-        try {
-            return JSON.readValue(bytes.substring(1).toByteArray(), VersionTable.Command.class);
-        } catch (IllegalArgumentException e) {
-            throw new IOException("version command: " + e.getMessage(), e);
-        }
+    static LeaseTable.Outcome decodeLeaseOutcome(ByteString bytes) throws IOException {
+        return JSON.readValue(bytes.toByteArray(), LeaseTable.Outcome.class);
     }
 
-    static VersionTable.Outcome versionsOutcome(ByteString bytes) throws IOException {
+    static VersionTable.Outcome decodeVersionOutcome(ByteString bytes) throws IOException {
         return JSON.readValue(bytes.toByteArray(), VersionTable.Outcome.class);
     }
 
-    /** What a snapshot holds; one from before there were versions has none. */
-    record Images(LeaseTable.Image leases, VersionTable.Image versions) {}
-
-    static byte[] encode(Images images) {
-        ObjectNode node = JSON.valueToTree(images.leases);
-        node.set(MORE, JSON.valueToTree(images.versions));
+    /** Requires the version table's snapshot: every snapshot that is written holds both tables. */
+    static byte[] encodeSnapshot(GroupSnapshot snapshot) {
+        ObjectNode node = JSON.valueToTree(snapshot.leases());
+        node.set(VERSIONS_FIELD, JSON.valueToTree(snapshot.versions().orElseThrow()));
         return encode(node).toByteArray();
     }
 
-    /** A snapshot's bytes, or an IOException where they are none. */
-    static Images images(byte[] bytes) throws IOException {
+    /** Throws an IOException if the bytes are no snapshot. */
+    static GroupSnapshot decodeSnapshot(byte[] bytes) throws IOException {
         ObjectNode node = (ObjectNode) JSON.readTree(bytes);
-        JsonNode versions = node.remove(MORE);
-        return new Images(
-                JSON.treeToValue(node, LeaseTable.Image.class),
-                versions == null ? null : JSON.treeToValue(versions, VersionTable.Image.class));
+        JsonNode versions = node.remove(VERSIONS_FIELD);
+        LeaseTable.Snapshot leases = JSON.treeToValue(node, LeaseTable.Snapshot.class);
+        return new GroupSnapshot(
+                leases,
+                versions == null
+                        ? Optional.empty()
+                        : Optional.ofNullable(JSON.treeToValue(versions, VersionTable.Snapshot.class)));
     }
 
-    static LeaseTable.Outcome outcome(ByteString bytes) throws IOException {
-        return JSON.readValue(bytes.toByteArray(), LeaseTable.Outcome.class);
+    private static ByteString encode(Object value) {
+        try {
+            return ByteString.copyFrom(JSON.writeValueAsBytes(value));
+        } catch (IOException e) {
+            throw new UncheckedIOException("records of strings and numbers can be encoded", e);
+        }
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -7,343 +7,212 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
-import org.apache.ratis.RaftConfigKeys;
-import org.apache.ratis.client.RaftClient;
-import org.apache.ratis.client.RaftClientConfigKeys;
-import org.apache.ratis.conf.Parameters;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.apache.ratis.conf.RaftProperties;
-import org.apache.ratis.netty.NettyConfigKeys;
-import org.apache.ratis.protocol.ClientId;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientReply;
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
-import org.apache.ratis.retry.RetryPolicies;
 import org.apache.ratis.server.RaftServer;
-import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
-import org.apache.ratis.util.SizeInBytes;
-import org.apache.ratis.util.TimeDuration;
 
 /**
- * One member of a fleet's lease group: a Ratis server over TCP (Netty) with its log in the member's folder, and a client
- * that asks the group. The group's id comes from the fleet's name, so members agree on it without a word.
+ * One member of a fleet's lease group: a Ratis server over TCP with its log in the member's directory, and a client that
+ * sends requests to the group. The group's id is derived from its name, so the members agree on it without coordination.
  *
- * <p>Errors: {@link IOException} where the folder or port can't be used. A request that the group could not decide (no
- * majority, no leader in time) completes exceptionally; the caller acts as if refused, and its tenure does not begin.
+ * <p>Requests are sent in order by a thread of the group's own; any thread may submit them. A request that the group
+ * could not decide completes exceptionally with a {@link LeaseGroupException}. The caller then proceeds as if it was
+ * refused, and its lease validity does not begin.
  */
 public final class LeaseGroup implements Closeable {
-    /** The engine tells every setting it reads at INFO; held here so that the level stays (loggers are weakly kept). */
-    private static final java.util.logging.Logger ENGINE = java.util.logging.Logger.getLogger("org.apache.ratis");
+    private static final int MAX_ATTEMPTS = 3;
 
-    public static final long SNAPSHOT_EVERY = 2_000;
-    private static final int TRIES = 3,
-            MEMBERS_TRIES = 12; // a new member learns the whole log before a change of members is agreed
+    /** A new member has to receive the whole log before the group agrees to a change of members. */
+    private static final int MAX_MEMBERSHIP_ATTEMPTS = 12;
 
-    /**
-     * The engine's own copy of Netty would take two arenas of memory a core, for a few messages a second. Its threads are another
-     * matter: the engine waits for a client's request on the thread that read it, without an end, so with a single one a request whose
-     * answer never came (seen where a stalled leader stepped down) left a member deaf to all until it was killed. Each connection is to
-     * have its own; they begin when they are needed.
-     */
-    private static final String NETTY = "org.apache.ratis.thirdparty.io.netty.";
+    private static final String GROUP_ID_PREFIX = "elderseam-leases:";
 
     static {
-        ENGINE.setLevel(java.util.logging.Level.WARNING);
-        Map.of(
-                        "eventLoopThreads",
-                        "16",
-                        "allocator.numDirectArenas",
-                        "1",
-                        "allocator.numHeapArenas",
-                        "1",
-                        "allocator.maxOrder",
-                        "3")
-                .forEach((name, value) -> {
-                    if (System.getProperty(NETTY + name) == null) {
-                        System.setProperty(NETTY + name, value);
-                    }
-                });
+        RatisSettings.applyToProcess();
     }
 
     private final RaftServer server;
-    private final LeaseStateMachine machine;
-    private final RaftGroup founding;
-    private final RaftProperties properties;
-    private final String holder;
-    private final java.util.concurrent.ExecutorService asker;
+    private final LeaseStateMachine stateMachine;
+    private final LeaderClient leaderClient;
+    private final String holderId;
+    private final ExecutorService requestExecutor;
 
-    private RaftClient client; // of the asking thread, and closed by the last
-    private RaftPeerId asks; // whom it takes for the leader
+    @FunctionalInterface
+    private interface OutcomeDecoder<T> {
+        T decode(ByteString bytes) throws IOException;
+    }
 
     private LeaseGroup(
             RaftServer server,
-            LeaseStateMachine machine,
-            RaftGroup founding,
-            RaftProperties properties,
-            String self,
-            String holder) {
+            LeaseStateMachine stateMachine,
+            LeaderClient leaderClient,
+            LeaseGroupConfiguration configuration) {
         this.server = server;
-        this.machine = machine;
-        this.founding = founding;
-        this.properties = properties;
-        this.holder = holder;
-        this.asker = java.util.concurrent.Executors.newSingleThreadExecutor(r -> {
-            Thread t = new Thread(r, "lease-asker-" + self);
-            t.setDaemon(true);
-            return t;
+        this.stateMachine = stateMachine;
+        this.leaderClient = leaderClient;
+        this.holderId = configuration.holderId();
+        this.requestExecutor = Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "lease-asker-" + configuration.memberName());
+            thread.setDaemon(true);
+            return thread;
         });
     }
 
-    /**
-     * What a member needs to begin. {@code peers}: the group's members as the others reach them, name to address, the same on
-     * every founding member; one that joins a group that is there already is not among them, and is taken in by {@link
-     * #members}. {@code listen}: where this one listens, which may stand behind another address. {@code folder}: made if
-     * missing; one that holds a log is taken back, and the log's word on the members outranks {@code peers}. {@code
-     * electionMs}: the least time a follower waits for its leader before it stands; the most is twice that. {@code life}: new
-     * with each start of the process, so that a lease of the process before it is another holder's. {@code clock}: monotonic,
-     * in nanoseconds. {@code snapshotEvery}: commands from one snapshot to the next, {@link #SNAPSHOT_EVERY} as a rule.
-     */
-    public record Opening(
-            String fleet,
-            String self,
-            InetSocketAddress listen,
-            Map<String, InetSocketAddress> peers,
-            Path folder,
-            long electionMs,
-            String life,
-            LongSupplier clock,
-            LeaseStateMachine.Watch watch,
-            long snapshotEvery) {}
-
-    public static LeaseGroup start(Opening o) throws IOException {
+    /** Starts this member. Throws an IOException if the directory or the port cannot be used. */
+    public static LeaseGroup start(LeaseGroupConfiguration configuration) throws IOException {
         XnioStartup.manageable();
-        RaftGroup group = group(o.fleet(), o.peers());
-        RaftProperties properties = properties(o.electionMs(), o.snapshotEvery());
-        NettyConfigKeys.Server.setPort(properties, o.listen().getPort());
-        NettyConfigKeys.Server.setHost(properties, o.listen().getHostString());
-        RaftServerConfigKeys.setStorageDir(properties, List.of(o.folder().toFile()));
-        // One that joins begins with no members at all, and learns them from the leader that takes it in.
-        RaftGroup own = o.peers().containsKey(o.self()) ? group : RaftGroup.valueOf(group.getGroupId());
-        boolean kept = Files.isDirectory(
-                o.folder().resolve(group.getGroupId().getUuid().toString()));
-        LeaseStateMachine machine = new LeaseStateMachine(o.clock(), o.watch());
+        RaftGroup initialGroup = raftGroup(configuration.groupName(), configuration.initialMembers());
+        RaftGroupId groupId = initialGroup.getGroupId();
+        RaftProperties properties = RatisSettings.forMember(configuration);
+        LeaseStateMachine stateMachine = new LeaseStateMachine(configuration.clock(), configuration.listener());
+        // A joining member starts with an empty group and learns the members from the leader that adds it.
+        boolean isInitialMember = configuration.initialMembers().containsKey(configuration.memberName());
+        boolean hasLog = Files.isDirectory(
+                configuration.directory().resolve(groupId.getUuid().toString()));
         RaftServer server = RaftServer.newBuilder()
-                .setServerId(RaftPeerId.valueOf(o.self()))
-                .setGroup(own)
-                .setStateMachine(machine)
+                .setServerId(RaftPeerId.valueOf(configuration.memberName()))
+                .setGroup(isInitialMember ? initialGroup : RaftGroup.valueOf(groupId))
+                .setStateMachine(stateMachine)
                 .setProperties(properties)
-                .setOption(kept ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT)
+                .setOption(hasLog ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT)
                 .build();
         server.start();
-        return new LeaseGroup(server, machine, group, properties, o.self(), o.self() + "/" + o.life());
+        LeaderClient leaderClient = new LeaderClient(server, initialGroup, properties);
+        return new LeaseGroup(server, stateMachine, leaderClient, configuration);
     }
 
-    /** Makes these the group's members, all at once, while leases are held; done once the group has agreed. */
-    public CompletableFuture<Void> members(Map<String, InetSocketAddress> wanted) {
+    /** Replaces the group's members, all at once, while leases are held; completes once the group has agreed. */
+    public CompletableFuture<Void> changeMembers(Map<String, InetSocketAddress> members) {
         return CompletableFuture.runAsync(
-                () -> {
-                    try {
-                        RaftClientReply reply =
-                                tried(MEMBERS_TRIES, c -> c.admin().setConfiguration(peers(wanted)));
-                        if (!reply.isSuccess()) {
-                            throw new IOException("lease group: " + reply.getException());
-                        }
-                    } catch (IOException e) {
-                        throw new java.io.UncheckedIOException(e);
-                    }
-                },
-                asker);
+                () -> send(MAX_MEMBERSHIP_ATTEMPTS, client -> client.admin().setConfiguration(raftPeers(members))),
+                requestExecutor);
     }
 
-    /** The members as this one has them, in the order of their names. */
-    public List<String> members() throws IOException {
-        return server.getDivision(server.getGroupIds().iterator().next()).getRaftConf().getCurrentPeers().stream()
-                .map(p -> p.getId().toString())
+    /** Returns the members' names as this member knows them, sorted. */
+    public List<String> memberNames() throws IOException {
+        RaftServer.Division division =
+                server.getDivision(server.getGroupIds().iterator().next());
+        return division.getRaftConf().getCurrentPeers().stream()
+                .map(peer -> peer.getId().toString())
                 .sorted()
                 .toList();
     }
 
-    private static List<RaftPeer> peers(Map<String, InetSocketAddress> members) {
+    static RaftGroup raftGroup(String groupName, Map<String, InetSocketAddress> members) {
+        byte[] nameBytes = (GROUP_ID_PREFIX + groupName).getBytes(StandardCharsets.UTF_8);
+        return RaftGroup.valueOf(RaftGroupId.valueOf(UUID.nameUUIDFromBytes(nameBytes)), raftPeers(members));
+    }
+
+    private static List<RaftPeer> raftPeers(Map<String, InetSocketAddress> members) {
         return members.entrySet().stream()
                 .sorted(Map.Entry.comparingByKey())
-                .map(e -> RaftPeer.newBuilder()
-                        .setId(e.getKey())
-                        .setAddress(e.getValue().getHostString() + ":"
-                                + e.getValue().getPort())
-                        .build())
+                .map(member -> raftPeer(member.getKey(), member.getValue()))
                 .toList();
     }
 
-    static RaftGroup group(String fleet, Map<String, InetSocketAddress> peers) {
-        RaftGroupId id = RaftGroupId.valueOf(
-                UUID.nameUUIDFromBytes(("elderseam-leases:" + fleet).getBytes(StandardCharsets.UTF_8)));
-        return RaftGroup.valueOf(id, peers(peers));
-    }
-
-    private static RaftProperties properties(long electionMs, long snapshotEvery) {
-        RaftProperties properties = new RaftProperties();
-        RaftConfigKeys.Rpc.setType(properties, new LeaseRpc());
-        RaftServerConfigKeys.Rpc.setTimeoutMin(properties, TimeDuration.valueOf(electionMs, TimeUnit.MILLISECONDS));
-        RaftServerConfigKeys.Rpc.setTimeoutMax(properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
-        // One that has lost its lead for want of answers lets others stand first, by the engine's default for 10 s:
-        // where the others were
-        // the ones that were cut off, nobody would stand so long.
-        RaftServerConfigKeys.LeaderElection.setLeaderStepDownWaitTime(
-                properties, TimeDuration.valueOf(2 * electionMs, TimeUnit.MILLISECONDS));
-        // A request to a member that is gone waits this long before the client turns to the next one.
-        RaftClientConfigKeys.Rpc.setRequestTimeout(
-                properties, TimeDuration.valueOf(3 * electionMs, TimeUnit.MILLISECONDS));
-        // The table is small and each command short: a snapshot every so often, and the log before it goes.
-        RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
-        RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(properties, snapshotEvery);
-        RaftServerConfigKeys.Snapshot.setRetentionFileNum(properties, 2);
-        RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(properties, true);
-        RaftServerConfigKeys.Log.setPurgeGap(properties, (int) snapshotEvery);
-        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf("256KB"));
-        RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf("16KB"));
-        RaftServerConfigKeys.Log.setWriteBufferSize(properties, SizeInBytes.valueOf("128KB"));
-        RaftServerConfigKeys.Log.Appender.setBufferByteLimit(properties, SizeInBytes.valueOf("64KB"));
-        return properties;
-    }
-
-    /**
-     * Asks the leader that the own server knows of. The engine's client goes by its last guess: where that one was cut off without a
-     * word, all six tries of a request were seen to go to it, and those of the next request too.
-     */
-    private RaftClient client() throws IOException {
-        RaftServer.Division own = server.getDivision(founding.getGroupId());
-        RaftPeerId leader = own.getInfo().getLeaderId();
-        if (client != null && leader != null && !leader.equals(asks)) {
-            forget();
-        }
-        if (client == null) {
-            RaftGroup now = own.getGroup().getPeers().isEmpty() ? founding : own.getGroup();
-            RaftClient.Builder b = RaftClient.newBuilder()
-                    .setProperties(properties)
-                    .setRaftGroup(now)
-                    .setClientId(ClientId.randomId())
-                    .setParameters(new Parameters())
-                    // A request that meets a member who does not lead goes on to the one it names.
-                    .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(
-                            2, TimeDuration.valueOf(50, TimeUnit.MILLISECONDS)));
-            asks = leader != null && now.getPeer(leader) != null ? leader : null;
-            client = (asks == null ? b : b.setLeaderId(asks)).build();
-        }
-        return client;
-    }
-
-    private void forget() {
-        try {
-            client.close();
-        } catch (IOException e) {
-            // gone all the same
-        }
-        client = null;
-    }
-
-    private interface Asked {
-        RaftClientReply of(RaftClient client) throws IOException;
-    }
-
-    /** Some tries, each at whom the own server knows for the leader by then; a group with no majority answers none of them. */
-    private RaftClientReply tried(int tries, Asked asked) throws IOException {
-        for (int i = 1; ; i++) {
-            try {
-                return asked.of(client());
-            } catch (IOException e) {
-                if (client != null) {
-                    forget();
-                }
-                if (i == tries) {
-                    throw e;
-                }
-            }
-        }
-    }
-
-    /** Who this member is in the table: its name, and which of its lives. */
-    public String holder() {
-        return holder;
-    }
-
-    /** Asks for {@code name} for {@code ttlMs}; the outcome says whether it was granted, and with which token. */
-    public CompletableFuture<LeaseTable.Outcome> acquire(String name, long ttlMs) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.ACQUIRE, name, holder, 0, ttlMs, 0));
+    private static RaftPeer raftPeer(String name, InetSocketAddress address) {
+        return RaftPeer.newBuilder()
+                .setId(name)
+                .setAddress(address.getHostString() + ":" + address.getPort())
+                .build();
     }
 
-    public CompletableFuture<LeaseTable.Outcome> renew(String name, long token, long ttlMs) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.RENEW, name, holder, token, ttlMs, 0));
+    /** This member as the lease table knows it: its name and its incarnation. */
+    public String holderId() {
+        return holderId;
     }
 
-    public CompletableFuture<LeaseTable.Outcome> release(String name, long token) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.RELEASE, name, holder, token, 0, 0));
+    /** Requests a lease for {@code ttlMs} milliseconds, at most {@link LeaseTable#MAX_TTL_MS}. */
+    public CompletableFuture<LeaseTable.Outcome> acquire(String lease, long ttlMs) {
+        return submit(new LeaseTable.Command(LeaseTable.Operation.ACQUIRE, lease, holderId, 0, ttlMs, 0));
     }
 
-    /** Passes {@code value} on to every member, as the holder by {@code token}; at most {@link LeaseTable#MOST_VALUE} characters. */
-    public CompletableFuture<LeaseTable.Outcome> publish(String name, long token, String value) {
-        return ask(new LeaseTable.Command(LeaseTable.Op.PUBLISH, name, holder, token, 0, 0, value));
+    /** Extends the lease that this member holds by {@code token} to {@code ttlMs} milliseconds from now. */
+    public CompletableFuture<LeaseTable.Outcome> renew(String lease, long token, long ttlMs) {
+        return submit(new LeaseTable.Command(LeaseTable.Operation.RENEW, lease, holderId, token, ttlMs, 0));
     }
 
-    /** Asks for what a command on versions comes to. */
-    public CompletableFuture<VersionTable.Outcome> versions(VersionTable.Command command) {
-        return ask(Message.valueOf(LeaseCodec.encodeVersions(command)), LeaseCodec::versionsOutcome);
+    /** Gives back the lease that this member holds by {@code token}. */
+    public CompletableFuture<LeaseTable.Outcome> release(String lease, long token) {
+        return submit(new LeaseTable.Command(LeaseTable.Operation.RELEASE, lease, holderId, token, 0, 0));
     }
 
-    /** The versions as this member has them, which may be behind the group's. */
-    public LeaseStateMachine.Versions versions() {
-        return machine.versions();
+    /**
+     * Publishes a value of at most {@link LeaseTable#MAX_VALUE_CHARS} characters to every member, as the holder by {@code
+     * token}. Throws {@link IllegalArgumentException} for a longer value.
+     */
+    public CompletableFuture<LeaseTable.Outcome> publish(String lease, long token, String value) {
+        return submit(new LeaseTable.Command(LeaseTable.Operation.PUBLISH, lease, holderId, token, 0, 0, value));
     }
 
-    private CompletableFuture<LeaseTable.Outcome> ask(LeaseTable.Command command) {
-        return ask(Message.valueOf(LeaseCodec.encode(command)), LeaseCodec::outcome);
+    private CompletableFuture<LeaseTable.Outcome> submit(LeaseTable.Command command) {
+        return submit(new GroupCommand.OnLeases(command), LeaseCodec::decodeLeaseOutcome);
     }
 
-    private interface Decoded<T> {
-        T of(ByteString bytes) throws IOException;
+    /** Submits a command on configuration versions. */
+    public CompletableFuture<VersionTable.Outcome> submit(VersionTable.Command command) {
+        return submit(new GroupCommand.OnVersions(command), LeaseCodec::decodeVersionOutcome);
     }
 
-    private <T> CompletableFuture<T> ask(Message message, Decoded<T> decoded) {
-        // The blocking client turns to the next member when one is gone; the ordered async one was seen to wait on a
-        // closed member for over 20 s. Its one thread keeps the calls in order and off every caller's thread.
+    private <T> CompletableFuture<T> submit(GroupCommand command, OutcomeDecoder<T> decoder) {
+        Message message = Message.valueOf(LeaseCodec.encodeCommand(command));
         return CompletableFuture.supplyAsync(
                 () -> {
-                    try {
-                        return outcome(tried(TRIES, c -> c.io().send(message)), decoded);
-                    } catch (IOException e) {
-                        throw new java.io.UncheckedIOException(e);
-                    }
+                    RaftClientReply reply =
+                            send(MAX_ATTEMPTS, client -> client.io().send(message));
+                    return decode(reply, decoder);
                 },
-                asker);
+                requestExecutor);
     }
 
-    private static <T> T outcome(RaftClientReply reply, Decoded<T> decoded) {
+    /** Sends on the request thread; throws a LeaseGroupException unless the group carried the request out. */
+    private RaftClientReply send(int maxAttempts, LeaderClient.Request request) {
+        RaftClientReply reply;
+        try {
+            reply = leaderClient.send(maxAttempts, request);
+        } catch (IOException e) {
+            throw new LeaseGroupException(e);
+        }
         if (!reply.isSuccess()) {
-            throw new IllegalStateException("lease group: " + reply.getException());
+            throw new LeaseGroupException("lease group: " + reply.getException());
         }
+        return reply;
+    }
+
+    private static <T> T decode(RaftClientReply reply, OutcomeDecoder<T> decoder) {
         try {
-            return decoded.of(reply.getMessage().getContent());
+            return decoder.decode(reply.getMessage().getContent());
         } catch (IOException e) {
-            throw new IllegalStateException("lease group: an answer that can't be read", e);
+            throw new LeaseGroupException("lease group: an answer that can't be read", e);
         }
     }
 
+    /** Returns the versions as this member has applied them, which may lag behind the group. */
+    public LeaseStateMachine.VersionView localVersions() {
+        return stateMachine.versions();
+    }
+
+    /** Stops the request thread, the client and the server; requests that wait complete exceptionally or never. */
     @Override
     public void close() throws IOException {
-        asker.shutdownNow();
-        if (client != null) {
-            client.close();
+        requestExecutor.shutdownNow();
+        try {
+            leaderClient.close();
+        } finally {
+            server.close();
         }
-        server.close();
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
@@ -1,58 +1,85 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.ClockDriftBound;
+import elderseam.fleet.lease.LeaseRequestSchedule.NextStep;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 
 /**
- * One member's thread that gets and keeps the leases of its tasks. Other threads ask {@link #tenure} before each act; the
- * thread itself waits for the group and for nothing else.
+ * One member's thread that acquires and renews the leases of its tasks. Other threads read {@link #validity} before each
+ * act; the thread itself waits for the group and for nothing else. All public methods may be called by any thread.
  */
 public final class LeaseRenewer {
-    /** Told of each request and of what came of it, on the holder's thread. */
-    public interface Events {
-        void asked(String lease, LeaseRequestSchedule.Ask ask, long token);
+    /** Notified of each request and its result. On the renewer's thread, except {@link #released}. */
+    public interface Listener {
+        /** A request is about to be sent: ACQUIRE, or RENEW of the lease with {@code token}. */
+        void requested(String lease, LeaseTable.Operation operation, long token);
 
-        /** {@code outcome} is null where the group gave no answer; {@code tenure} is null where the member holds nothing. */
-        void answered(String lease, LeaseTable.Outcome outcome, LeaseValidity tenure);
+        /** The group granted the lease. */
+        void granted(String lease, LeaseValidity validity);
 
-        /** The member holds it no longer, by its own will; on whatever thread that was. */
+        /** The group refused the request; this member does not hold the lease. */
+        void refused(String lease, LeaseTable.Outcome outcome);
+
+        /** The group gave no answer; a validity from before runs to its end. */
+        void unanswered(String lease);
+
+        /** This member gives the lease back by its own decision. On the thread that decided. */
         void released(String lease);
     }
 
+    /** How long the thread sleeps if no lease is wanted; a change wakes it before. */
+    private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(1);
+
     private final LeaseGroup group;
     private final LongSupplier clock;
-    private final Events events;
+    private final Listener listener;
     private final long ttlMs;
-    private final Map<String, LeaseRequestSchedule> keepers = new LinkedHashMap<>();
-    private final Map<String, LeaseValidity> tenures = new ConcurrentHashMap<>();
-    private final Map<String, Long> others = new ConcurrentHashMap<>(); // until when another holds it
-    private final Set<String> wanted = ConcurrentHashMap.newKeySet(), freed = ConcurrentHashMap.newKeySet();
-    private final LeaseValidity.Bounds bounds;
+    private final ClockDriftBound driftBound;
     private final SplittableRandom random;
+    private final Map<String, LeaseRequestSchedule> schedules = new LinkedHashMap<>(); // of the renewer's thread
+    private final Map<String, LeaseValidity> validities = new ConcurrentHashMap<>();
+    private final Map<String, Long> othersLeasesUntilNs = new ConcurrentHashMap<>();
+    private final Set<String> wanted = ConcurrentHashMap.newKeySet();
+    private final Set<String> releasedByOthers = ConcurrentHashMap.newKeySet();
     private final Thread thread;
     private volatile boolean stopped;
 
+    /**
+     * Starts the thread.
+     *
+     * @param group sends the requests
+     * @param leases the leases that are wanted from the start
+     * @param ttlMs the leases' time to live in milliseconds
+     * @param driftBound the bound on the drift of any member's clock
+     * @param random spreads the requests of the members
+     * @param clock the member's monotonic clock in nanoseconds
+     * @param listener notified of requests and results
+     */
     public LeaseRenewer(
             LeaseGroup group,
             List<String> leases,
             long ttlMs,
-            LeaseValidity.Bounds bounds,
+            ClockDriftBound driftBound,
             SplittableRandom random,
             LongSupplier clock,
-            Events events) {
+            Listener listener) {
         this.group = group;
         this.clock = clock;
-        this.events = events;
+        this.listener = listener;
         this.ttlMs = ttlMs;
-        this.bounds = bounds;
+        this.driftBound = driftBound;
         this.random = random;
         wanted.addAll(leases);
         thread = new Thread(this::run, "lease-holder");
@@ -60,106 +87,136 @@
         thread.start();
     }
 
-    /** The tenure under which an act may begin now, if {@link LeaseValidity#mayAct} agrees; null where the member holds nothing. */
-    public LeaseValidity tenure(String lease) {
-        return tenures.get(lease);
+    /** Returns the validity under which an act may begin if {@link LeaseValidity#mayAct} agrees; empty if not held. */
+    public Optional<LeaseValidity> validity(String lease) {
+        return Optional.ofNullable(validities.get(lease));
     }
 
-    /** Until when another holds it, by the group's last word; a time that has passed where none is known to. */
-    public long othersUntil(String lease) {
-        return others.getOrDefault(lease, Long.MIN_VALUE);
+    /** Whether another member holds the lease now, by the group's last answer. */
+    public boolean isHeldByAnother(String lease) {
+        Long untilNs = othersLeasesUntilNs.get(lease);
+        return untilNs != null && untilNs > clock.getAsLong();
     }
 
-    /** Gets and keeps this lease too from now on, or gives it back and asks no more. Any thread may say so. */
-    public void want(String lease, boolean wants) {
-        if (wants ? wanted.add(lease) : wanted.remove(lease)) {
+    /** Acquires and renews this lease too from now on, or gives it back and requests it no more. */
+    public void setWanted(String lease, boolean isWanted) {
+        boolean changed = isWanted ? wanted.add(lease) : wanted.remove(lease);
+        if (changed) {
             LockSupport.unpark(thread);
         }
     }
 
-    /** Another member has given it back. Any thread may say so. */
-    public void freed(String lease) {
-        freed.add(lease);
+    /** Another member has given the lease back. */
+    public void onReleasedByOther(String lease) {
+        releasedByOthers.add(lease);
         LockSupport.unpark(thread);
     }
 
-    /** Takes up what is newly wanted, and gives back what no longer is. */
-    private void heed() {
-        wanted.forEach(l -> keepers.computeIfAbsent(l, n -> new LeaseRequestSchedule(ttlMs, bounds, random.split())));
-        for (String lease : List.copyOf(freed)) {
-            freed.remove(lease);
-            if (keepers.containsKey(lease)) {
-                keepers.get(lease).freed(clock.getAsLong());
-                others.remove(lease);
+    private void run() {
+        while (!stopped) {
+            addNewlyWanted();
+            heedReleases();
+            releaseUnwanted();
+            long wakeNs = Long.MAX_VALUE;
+            for (Map.Entry<String, LeaseRequestSchedule> entry : schedules.entrySet()) {
+                LeaseRequestSchedule schedule = entry.getValue();
+                NextStep step = schedule.nextStep(clock.getAsLong());
+                if (step instanceof NextStep.Request request && !stopped) {
+                    send(entry.getKey(), schedule, request);
+                }
+                wakeNs = Math.min(wakeNs, dueNs(schedule));
             }
+            LockSupport.parkNanos(wakeNs == Long.MAX_VALUE ? IDLE_NS : Math.max(0, wakeNs - clock.getAsLong()));
         }
-        for (String lease : List.copyOf(keepers.keySet())) {
-            if (!wanted.contains(lease)) {
-                keepers.remove(lease);
-                others.remove(lease);
-                LeaseValidity held = tenures.remove(lease);
-                if (held != null) {
-                    events.released(lease);
-                    group.release(lease, held.token());
-                }
+    }
+
+    private long dueNs(LeaseRequestSchedule schedule) {
+        long nowNs = clock.getAsLong();
+        return schedule.nextStep(nowNs) instanceof NextStep.Wait wait ? wait.untilNs() : nowNs;
+    }
+
+    private void addNewlyWanted() {
+        for (String lease : wanted) {
+            schedules.computeIfAbsent(lease, name -> new LeaseRequestSchedule(ttlMs, driftBound, random.split()));
+        }
+    }
+
+    private void heedReleases() {
+        for (String lease : List.copyOf(releasedByOthers)) {
+            releasedByOthers.remove(lease);
+            LeaseRequestSchedule schedule = schedules.get(lease);
+            if (schedule != null) {
+                schedule.onReleased(clock.getAsLong());
+                othersLeasesUntilNs.remove(lease);
             }
         }
     }
 
-    private void run() {
-        while (!stopped) {
-            heed();
-            long wake = Long.MAX_VALUE;
-            for (Map.Entry<String, LeaseRequestSchedule> e : keepers.entrySet()) {
-                LeaseRequestSchedule.Step step = e.getValue().next(clock.getAsLong());
-                if (step.ask() != LeaseRequestSchedule.Ask.NONE && !stopped) {
-                    ask(e.getKey(), e.getValue(), step);
+    private void releaseUnwanted() {
+        for (String lease : List.copyOf(schedules.keySet())) {
+            if (!wanted.contains(lease)) {
+                schedules.remove(lease);
+                othersLeasesUntilNs.remove(lease);
+                LeaseValidity held = validities.remove(lease);
+                if (held != null) {
+                    listener.released(lease);
+                    group.release(lease, held.token());
                 }
-                wake = Math.min(wake, e.getValue().next(clock.getAsLong()).atNs());
             }
-            LockSupport.parkNanos(wake == Long.MAX_VALUE ? 1_000_000_000L : Math.max(0, wake - clock.getAsLong()));
         }
     }
 
-    private void ask(String lease, LeaseRequestSchedule keeper, LeaseRequestSchedule.Step step) {
-        events.asked(lease, step.ask(), step.token());
-        long sent = clock.getAsLong(); // before the send: the group stamps later than this
-        LeaseTable.Outcome outcome = null;
+    private void send(String lease, LeaseRequestSchedule schedule, NextStep.Request request) {
+        listener.requested(lease, request.operation(), request.token());
+        long sentNs = clock.getAsLong(); // read before sending: the group stamps the grant later than this
+        LeaseTable.Outcome outcome;
         try {
-            outcome = (step.ask() == LeaseRequestSchedule.Ask.RENEW
-                            ? group.renew(lease, step.token(), ttlMs)
-                            : group.acquire(lease, ttlMs))
-                    .get();
+            outcome = submit(lease, request).get();
         } catch (ExecutionException e) {
-            // no answer in its time: told as null
+            schedule.onNoAnswer(clock.getAsLong());
+            publishState(lease, schedule);
+            listener.unanswered(lease);
+            return;
         } catch (InterruptedException e) {
             stopped = true;
             return;
         }
-        if (outcome == null) {
-            keeper.failed(clock.getAsLong());
+        schedule.onAnswer(sentNs, clock.getAsLong(), outcome);
+        publishState(lease, schedule);
+        if (outcome.granted()) {
+            listener.granted(lease, schedule.validity().orElseThrow());
         } else {
-            keeper.answered(sent, clock.getAsLong(), outcome);
+            listener.refused(lease, outcome);
         }
-        others.put(lease, keeper.othersUntil());
-        LeaseValidity tenure = keeper.tenure();
-        if (tenure == null) {
-            tenures.remove(lease);
+    }
+
+    private CompletableFuture<LeaseTable.Outcome> submit(String lease, NextStep.Request request) {
+        return request.operation() == LeaseTable.Operation.RENEW
+                ? group.renew(lease, request.token(), ttlMs)
+                : group.acquire(lease, ttlMs);
+    }
+
+    /** Makes what the schedule knows of the lease visible to other threads. */
+    private void publishState(String lease, LeaseRequestSchedule schedule) {
+        OptionalLong othersLease = schedule.othersLeaseUntilNs();
+        if (othersLease.isPresent()) {
+            othersLeasesUntilNs.put(lease, othersLease.getAsLong());
         } else {
-            tenures.put(lease, tenure);
+            othersLeasesUntilNs.remove(lease);
         }
-        events.answered(lease, outcome, tenure);
+        schedule.validity().ifPresentOrElse(held -> validities.put(lease, held), () -> validities.remove(lease));
     }
 
-    /** Acts on nothing any more, and gives back what it holds; done once the group has said so of all. */
-    public CompletableFuture<Void> leave() {
+    /** Stops acting on any lease and gives back those held; completes once the group has confirmed all of that. */
+    public CompletableFuture<Void> releaseAllAndStop() {
         stopped = true;
-        Map<String, LeaseValidity> held = Map.copyOf(tenures);
-        tenures.clear();
-        held.keySet().forEach(events::released);
+        Map<String, LeaseValidity> held = Map.copyOf(validities);
+        validities.clear();
+        held.keySet().forEach(listener::released);
         LockSupport.unpark(thread);
-        return CompletableFuture.allOf(held.entrySet().stream()
-                .map(e -> group.release(e.getKey(), e.getValue().token()))
-                .toArray(CompletableFuture[]::new));
+        CompletableFuture<?>[] releases = held.entrySet().stream()
+                .map(entry -> group.release(entry.getKey(), entry.getValue().token()))
+                .toArray(CompletableFuture[]::new);
+        return CompletableFuture.allOf(releases);
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseRequestSchedule.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRequestSchedule.java
@@ -1,98 +1,133 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.ClockDriftBound;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
 /**
- * Gets and keeps one lease: what to ask the group, and when. No I/O; its thread asks {@link #next}, asks the group where
- * it says so, and tells what came of that. Times are nanoseconds of the member's monotonic clock.
+ * Decides which request for one lease is sent to the group, and when. Its thread calls {@link #nextStep}, sends the
+ * request that it returns, and reports what came of it.
  *
- * <p>A request without an answer may have been granted or not: the tenure that was there runs on to its own end and no
- * further, and the same request again is harmless (the table gives the holder its own lease with the token it had).
+ * <p>A request without an answer may have been granted or not: the validity from before runs to its own end and no
+ * further, and repeating the request is harmless because the table returns the holder its own lease with the same token.
+ *
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
 public final class LeaseRequestSchedule {
-    /** What to ask now; {@code NONE}: nothing before {@code atNs}. */
-    public enum Ask {
-        NONE("NONE"),
-        ACQUIRE("ACQUIRE"),
-        RENEW("RENEW");
+    /** What to do next. */
+    public sealed interface NextStep {
+        /** Send nothing before {@code untilNs}. */
+        record Wait(long untilNs) implements NextStep {}
+
+        /**
+         * Send a request now.
+         *
+         * @param operation ACQUIRE or RENEW
+         * @param token the token of the lease to renew; 0 for ACQUIRE
+         */
+        record Request(LeaseTable.Operation operation, long token) implements NextStep {}
+    }
 
-        private final String wireName;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long INITIAL_BACKOFF_NS = 50 * NANOS_PER_MILLI;
 
-        Ask(String wireName) {
-            this.wireName = wireName;
-        }
+    /** The backoff grows up to this part of the lease's time to live. */
+    private static final int MAX_BACKOFF_DIVISOR = 4;
 
-        /** The {@code op} of a request in a history. */
-        public String wireName() {
-            return wireName;
-        }
-    }
+    private static final double MIN_BACKOFF_JITTER = 0.75;
+    private static final double BACKOFF_JITTER_RANGE = 0.5;
 
-    public record Step(Ask ask, long token, long atNs) {}
+    /** Requests of members that wait for the same expiry are spread over this part of the time to live. */
+    private static final int EXPIRY_JITTER_DIVISOR = 20;
 
-    private static final long MS = 1_000_000, FIRST_RETRY_NS = 50 * MS;
+    /** Requests after a release are spread over this part of the time to live. */
+    private static final int RELEASE_JITTER_DIVISOR = 50;
+
+    /** Another's lease counts for this part of the time to live longer, until it was requested again. */
+    private static final int OTHERS_LEASE_GRACE_DIVISOR = 10;
 
     private final long ttlMs;
-    private final LeaseValidity.Bounds bounds;
+    private final long ttlNs;
+    private final ClockDriftBound driftBound;
     private final SplittableRandom random;
-    private LeaseValidity tenure;
-    private long othersUntil = Long.MIN_VALUE;
-    private long nextAt = Long.MIN_VALUE, retryNs = FIRST_RETRY_NS;
-
-    /** {@code random}: spreads the requests of members that wait for one end. */
-    public LeaseRequestSchedule(long ttlMs, LeaseValidity.Bounds bounds, SplittableRandom random) {
+    private Optional<LeaseValidity> validity = Optional.empty();
+    private OptionalLong othersLeaseUntilNs = OptionalLong.empty();
+    private long nextRequestNs = Long.MIN_VALUE; // the first one is due at once
+    private long backoffNs = INITIAL_BACKOFF_NS;
+
+    /**
+     * @param ttlMs the lease's time to live in milliseconds
+     * @param driftBound the bound on the drift of any member's clock
+     * @param random spreads the requests of members that wait for the same instant
+     */
+    public LeaseRequestSchedule(long ttlMs, ClockDriftBound driftBound, SplittableRandom random) {
         this.ttlMs = ttlMs;
-        this.bounds = bounds;
+        this.ttlNs = ttlMs * NANOS_PER_MILLI;
+        this.driftBound = driftBound;
         this.random = random;
     }
 
-    public Step next(long now) {
-        if (now < nextAt) {
-            return new Step(Ask.NONE, 0, nextAt);
+    /** Returns what to do at {@code nowNs}; does not change the schedule. */
+    public NextStep nextStep(long nowNs) {
+        if (nowNs < nextRequestNs) {
+            return new NextStep.Wait(nextRequestNs);
         }
-        return holds(now) ? new Step(Ask.RENEW, tenure.token(), now) : new Step(Ask.ACQUIRE, 0, now);
+        return isHeld(nowNs)
+                ? new NextStep.Request(
+                        LeaseTable.Operation.RENEW, validity.get().token())
+                : new NextStep.Request(LeaseTable.Operation.ACQUIRE, 0);
     }
 
-    /** What the group said to a request that was sent at {@code sentNs}. */
-    public void answered(long sentNs, long now, LeaseTable.Outcome outcome) {
-        retryNs = FIRST_RETRY_NS;
+    /** The group answered, at {@code nowNs}, a request that was sent at {@code sentNs}. */
+    public void onAnswer(long sentNs, long nowNs, LeaseTable.Outcome outcome) {
+        backoffNs = INITIAL_BACKOFF_NS;
         if (outcome.granted()) {
-            tenure = LeaseValidity.of(outcome, sentNs, ttlMs, bounds);
-            othersUntil = Long.MIN_VALUE;
-            nextAt = tenure.renewByNs();
-            return;
+            LeaseValidity granted = LeaseValidity.of(outcome, sentNs, ttlMs, driftBound);
+            validity = Optional.of(granted);
+            othersLeaseUntilNs = OptionalLong.empty();
+            nextRequestNs = granted.renewAtNs();
+        } else {
+            validity = Optional.empty(); // another member holds the lease, or the table has seen it expire
+            long retryAfterNs = Math.min(ttlMs, outcome.retryAfterMs()) * NANOS_PER_MILLI;
+            othersLeaseUntilNs = retryAfterNs > 0
+                    ? OptionalLong.of(nowNs + retryAfterNs + ttlNs / OTHERS_LEASE_GRACE_DIVISOR)
+                    : OptionalLong.empty();
+            nextRequestNs = nowNs + retryAfterNs + jitterNs(EXPIRY_JITTER_DIVISOR);
         }
-        tenure = null; // the table has another holder, or has seen the lease end
-        long again = Math.min(ttlMs, outcome.againMs()) * MS;
-        othersUntil = again > 0 ? now + again + ttlMs * MS / 10 : Long.MIN_VALUE; // until it has been asked for again
-        nextAt = now + again + (long) (random.nextDouble() * ttlMs * MS / 20);
     }
 
-    /** The lease was given back by whoever held it: it may be asked for before its end. */
-    public void freed(long now) {
-        if (!holds(now)) {
-            othersUntil = Long.MIN_VALUE;
-            nextAt = Math.min(nextAt, now + (long) (random.nextDouble() * ttlMs * MS / 50));
+    /** The holder gave the lease back: it may be requested before it would have expired. */
+    public void onReleased(long nowNs) {
+        if (!isHeld(nowNs)) {
+            othersLeaseUntilNs = OptionalLong.empty();
+            nextRequestNs = Math.min(nextRequestNs, nowNs + jitterNs(RELEASE_JITTER_DIVISOR));
         }
     }
 
-    /** The group gave no answer: it may have no majority, or the links may be cut. */
-    public void failed(long now) {
-        nextAt = now + (long) (retryNs * (0.75 + 0.5 * random.nextDouble()));
-        retryNs = Math.min(ttlMs * MS / 4, 2 * retryNs);
+    /** The group did not answer a request: it may have no majority, or the network may be partitioned. */
+    public void onNoAnswer(long nowNs) {
+        double jitter = MIN_BACKOFF_JITTER + BACKOFF_JITTER_RANGE * random.nextDouble();
+        nextRequestNs = nowNs + (long) (backoffNs * jitter);
+        backoffNs = Math.min(ttlNs / MAX_BACKOFF_DIVISOR, 2 * backoffNs);
+    }
+
+    private long jitterNs(int ttlDivisor) {
+        return (long) (random.nextDouble() * ttlMs * NANOS_PER_MILLI / ttlDivisor);
     }
 
-    /** The present tenure, over or not; null where the last word of the group was a refusal, or there was none. */
-    public LeaseValidity tenure() {
-        return tenure;
+    /** Returns the last validity, expired or not; empty if the group's last answer was a refusal or there was none. */
+    public Optional<LeaseValidity> validity() {
+        return validity;
     }
 
-    /** Until when another holds it by the group's last word, its renewals not foreseen; the least value where none does. */
-    public long othersUntil() {
-        return othersUntil;
+    /** Returns until when another member holds the lease by the group's last answer, its renewals not foreseen. */
+    public OptionalLong othersLeaseUntilNs() {
+        return othersLeaseUntilNs;
     }
 
-    public boolean holds(long now) {
-        return tenure != null && now < tenure.untilNs();
+    /** Whether this member holds the lease at {@code nowNs}, by its own clock. */
+    public boolean isHeld(long nowNs) {
+        return validity.isPresent() && nowNs < validity.get().expiresAtNs();
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
@@ -28,61 +29,79 @@
 import org.apache.ratis.util.MD5FileUtil;
 
 /**
- * The lease table inside Apache Ratis. The leader stamps each command as it takes it in ({@link #startTransaction}), so that
- * every member applies the same time with the same command; the table then decides by the log alone. After a restart the
- * engine gives back the latest snapshot and replays the log behind it, and the table comes back as it was.
+ * The lease table and the version table as a state machine of Apache Ratis. The leader stamps each command when it
+ * accepts it ({@link #startTransaction}), so that every member applies the same time with the same command; the tables
+ * then depend on the log alone. After a restart the engine restores the latest snapshot and replays the log behind it.
  *
- * <p>The engine's one applying thread changes the table; whoever else reads it (a stamp, a snapshot) takes the same lock.
+ * <p>The engine's single applying thread changes the tables; every other reader (a timestamp, a snapshot, {@link
+ * #versions}) takes the same lock.
  */
 public final class LeaseStateMachine extends BaseStateMachine {
-    /** The versions as this member has them applied, which may be behind the group's. */
-    public record Versions(
+    /**
+     * The configuration versions as this member has applied them, which may lag behind the group.
+     *
+     * @param latest the latest committed version, or {@link ConfigurationVersion#NONE}
+     * @param pending the proposal that is being validated, if any
+     * @param lastDecision what became of the proposal before it
+     * @param committed the committed versions that are kept, oldest first
+     */
+    public record VersionView(
             ConfigurationVersion latest,
-            ConfigurationVersion pending,
-            VersionTable.Ended ended,
-            List<ConfigurationVersion> all) {}
-
-    private final LeaseTable table = new LeaseTable();
-    private final VersionTable versions = new VersionTable(); // under the table's lock too: one clock stamps both
-    private final LeaderClock leading = new LeaderClock();
-    private final LongSupplier clock;
-    private final Watch watch;
-    private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
-    private RaftServer server;
+            Optional<ConfigurationVersion> pending,
+            VersionTable.Decision lastDecision,
+            List<ConfigurationVersion> committed) {
+        /** Returns a kept version by its number; 0 is {@link ConfigurationVersion#NONE}. */
+        public Optional<ConfigurationVersion> find(long number) {
+            return ConfigurationVersion.find(committed, number);
+        }
+    }
 
-    /** Told of what the whole group learns, on the engine's threads; passes over what is not asked for. */
-    public interface Watch {
-        /** Who leads. */
-        default void led(String by) {}
+    /** Notified of what the whole group learns, on threads of the engine. Every method does nothing by default. */
+    public interface Listener {
+        /** The member of that name leads the group. */
+        default void leaderChanged(String leader) {}
 
-        /** What the holder of a lease has published under it; told again after a restart, oldest first. */
+        /** The holder of a lease has published a value under it. Repeated after a restart, oldest first. */
         default void published(String lease, String value) {}
 
-        /** A lease was given back before its end. */
-        default void freed(String lease) {}
+        /** The holder of a lease has given it back before it expired. */
+        default void released(String lease) {}
 
         /** A version was proposed, committed or refused. */
-        default void versions() {}
+        default void versionsChanged() {}
     }
 
+    private final Object lock = new Object(); // guards both tables and the index of the last command that they contain
+    private final LeaseTable leases = new LeaseTable();
+    private final VersionTable versions = new VersionTable();
+    private final LeaderClock leaderClock = new LeaderClock();
+    private final LongSupplier clock;
+    private final Listener listener;
+    private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+    private RaftServer server;
+
     /**
-     * {@code clock}: the member's monotonic clock in nanoseconds, an argument so that a rehearsal can make it run fast or
-     * slow.
+     * @param clock the member's monotonic clock in nanoseconds; an argument so that a fault test can make it run fast
+     *     or slow
+     * @param listener notified on threads of the engine
      */
-    public LeaseStateMachine(LongSupplier clock, Watch watch) {
+    public LeaseStateMachine(LongSupplier clock, Listener listener) {
         this.clock = clock;
-        this.watch = watch;
+        this.listener = listener;
     }
 
     @Override
-    public void initialize(RaftServer server, RaftGroupId group, RaftStorage kept) throws IOException {
-        super.initialize(server, group, kept);
-        this.server = server;
-        storage.init(kept);
-        getLifeCycle().startAndTransition(this::load, IOException.class);
+    public void initialize(RaftServer raftServer, RaftGroupId group, RaftStorage raftStorage) throws IOException {
+        super.initialize(raftServer, group, raftStorage);
+        server = raftServer;
+        storage.init(raftStorage);
+        getLifeCycle().startAndTransition(this::loadLatestSnapshot, IOException.class);
     }
 
-    /** Before a snapshot of the leader's takes the table's place; the engine ends a member whose machine does not say that it pauses. */
+    /**
+     * Called before a snapshot from the leader replaces the tables. The engine terminates a member whose state machine
+     * does not report that it is paused.
+     */
     @Override
     public void pause() {
         getLifeCycle().transition(LifeCycle.State.PAUSING);
@@ -91,40 +110,39 @@
 
     @Override
     public void reinitialize() throws IOException {
-        getLifeCycle().startAndTransition(this::load, IOException.class);
+        getLifeCycle().startAndTransition(this::loadLatestSnapshot, IOException.class);
     }
 
-    private void load() throws IOException {
-        SingleFileSnapshotInfo snapshot = storage.loadLatestSnapshot();
-        if (snapshot != null) {
-            LeaseCodec.Images images =
-                    LeaseCodec.images(Files.readAllBytes(snapshot.getFile().getPath()));
-            synchronized (table) {
-                table.restore(images.leases());
-                if (images.versions() != null) {
-                    versions.restore(images.versions());
-                }
-            }
-            setLastAppliedTermIndex(snapshot.getTermIndex());
-            images.leases().published().forEach(watch::published);
-            watch.versions();
+    private void loadLatestSnapshot() throws IOException {
+        SingleFileSnapshotInfo info = storage.loadLatestSnapshot();
+        if (info == null) {
+            return;
+        }
+        byte[] bytes = Files.readAllBytes(info.getFile().getPath());
+        LeaseCodec.GroupSnapshot snapshot = LeaseCodec.decodeSnapshot(bytes);
+        synchronized (lock) {
+            leases.restore(snapshot.leases());
+            snapshot.versions().ifPresent(versions::restore);
         }
+        setLastAppliedTermIndex(info.getTermIndex());
+        snapshot.leases().publishedValues().forEach(listener::published);
+        listener.versionsChanged();
     }
 
-    /** The table as it stands, in one file; the engine then drops the log up to there. */
+    /** Writes both tables to one file; the engine then drops the log up to the returned index. */
     @Override
     public long takeSnapshot() throws IOException {
-        TermIndex last;
-        LeaseCodec.Images images;
-        synchronized (table) {
-            last = getLastAppliedTermIndex();
-            images = new LeaseCodec.Images(table.image(), versions.image());
+        TermIndex lastApplied;
+        LeaseCodec.GroupSnapshot snapshot;
+        synchronized (lock) {
+            lastApplied = getLastAppliedTermIndex();
+            snapshot = new LeaseCodec.GroupSnapshot(leases.snapshot(), Optional.of(versions.snapshot()));
         }
-        File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
-        Files.write(file.toPath(), LeaseCodec.encode(images));
+        File file = storage.getSnapshotFile(lastApplied.getTerm(), lastApplied.getIndex());
+        Files.write(file.toPath(), LeaseCodec.encodeSnapshot(snapshot));
         FileInfo info = new FileInfo(file.toPath(), MD5FileUtil.computeAndSaveMd5ForFile(file));
-        storage.updateLatestSnapshot(new SingleFileSnapshotInfo(info, last));
-        return last.getIndex();
+        storage.updateLatestSnapshot(new SingleFileSnapshotInfo(info, lastApplied));
+        return lastApplied.getIndex();
     }
 
     @Override
@@ -133,78 +151,83 @@
     }
 
     @Override
-    public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId led) {
-        watch.led(led.toString());
+    public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId leader) {
+        listener.leaderChanged(leader.toString());
     }
 
+    /** On the leader, for each request: checks the command and stamps it. */
     @Override
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
-        ByteString content = request.getMessage().getContent();
-        boolean onVersions = LeaseCodec.isVersions(content);
-        LeaseTable.Command command = onVersions ? null : LeaseCodec.command(content);
-        VersionTable.Command version = onVersions ? LeaseCodec.versions(content) : null;
-        long term = server.getDivision(getGroupId()).getInfo().getCurrentTerm(), stamp;
-        synchronized (table) {
-            stamp = leading.stamp(term, Math.max(table.now(), versions.now()), clock.getAsLong());
+        GroupCommand command = LeaseCodec.decodeCommand(request.getMessage().getContent());
+        long term = server.getDivision(getGroupId()).getInfo().getCurrentTerm();
+        long stampMs;
+        synchronized (lock) {
+            long tableTimeMs = Math.max(leases.tableTimeMs(), versions.tableTimeMs());
+            stampMs = leaderClock.stamp(term, tableTimeMs, clock.getAsLong());
         }
         return TransactionContext.newBuilder()
                 .setStateMachine(this)
                 .setClientRequest(request)
-                .setLogData(
-                        onVersions
-                                ? LeaseCodec.encodeVersions(version.stamped(stamp))
-                                : LeaseCodec.encode(command.stamped(stamp)))
+                .setLogData(LeaseCodec.encodeCommand(command.stamped(stampMs)))
                 .build();
     }
 
+    /**
+     * On every member, for each log entry in order. The leader checked the command before it entered the log, so one
+     * that cannot be decoded was written by another release; it is skipped.
+     */
     @Override
-    public CompletableFuture<Message> applyTransaction(TransactionContext trx) {
-        LogEntryProto entry = trx.getLogEntry();
+    public CompletableFuture<Message> applyTransaction(TransactionContext transaction) {
+        LogEntryProto entry = transaction.getLogEntry();
         ByteString data = entry.getStateMachineLogEntry().getLogData();
+        GroupCommand command;
         try {
-            if (LeaseCodec.isVersions(data)) {
-                return CompletableFuture.completedFuture(
-                        Message.valueOf(LeaseCodec.encode(apply(LeaseCodec.versions(data), entry))));
-            }
-            LeaseTable.Command command = LeaseCodec.command(data);
-            LeaseTable.Outcome outcome;
-            synchronized (table) { // the index moves with the table: a snapshot must tell of both or neither
-                outcome = table.apply(command);
-                updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
-            }
-            if (outcome.granted() && command.op() == LeaseTable.Op.PUBLISH) {
-                watch.published(command.name(), command.value());
-            } else if (outcome.granted() && command.op() == LeaseTable.Op.RELEASE) {
-                watch.freed(command.name());
-            }
-            return CompletableFuture.completedFuture(Message.valueOf(LeaseCodec.encode(outcome)));
+            command = LeaseCodec.decodeCommand(data);
         } catch (IOException e) {
-            // A leader checked the command before it entered the log, so this is a log written by another version.
             updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
             return CompletableFuture.failedFuture(e);
         }
+        ByteString outcome = command instanceof GroupCommand.OnVersions onVersions
+                ? LeaseCodec.encodeOutcome(applyOnVersions(onVersions.command(), entry))
+                : LeaseCodec.encodeOutcome(applyOnLeases(((GroupCommand.OnLeases) command).command(), entry));
+        return CompletableFuture.completedFuture(Message.valueOf(outcome));
+    }
+
+    private LeaseTable.Outcome applyOnLeases(LeaseTable.Command command, LogEntryProto entry) {
+        LeaseTable.Outcome outcome;
+        synchronized (lock) { // the index advances with the table: a snapshot must contain both or neither
+            outcome = leases.apply(command);
+            updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
+        }
+        if (outcome.granted() && command.operation() == LeaseTable.Operation.PUBLISH) {
+            listener.published(command.lease(), command.value());
+        } else if (outcome.granted() && command.operation() == LeaseTable.Operation.RELEASE) {
+            listener.released(command.lease());
+        }
+        return outcome;
     }
 
-    private VersionTable.Outcome apply(VersionTable.Command command, LogEntryProto entry) {
+    private VersionTable.Outcome applyOnVersions(VersionTable.Command command, LogEntryProto entry) {
         VersionTable.Outcome outcome;
-        boolean news;
-        synchronized (table) {
-            ConfigurationVersion pending = versions.pending();
-            VersionTable.Ended ended = versions.ended();
+        boolean changed;
+        synchronized (lock) {
+            Optional<ConfigurationVersion> pendingBefore = versions.pending();
+            VersionTable.Decision decisionBefore = versions.lastDecision();
             outcome = versions.apply(command);
-            news = pending != versions.pending() || !ended.equals(versions.ended());
+            changed = !pendingBefore.equals(versions.pending()) || !decisionBefore.equals(versions.lastDecision());
             updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
         }
-        if (news) {
-            watch.versions();
+        if (changed) {
+            listener.versionsChanged();
         }
         return outcome;
     }
 
-    /** The versions as they stand here. */
-    public Versions versions() {
-        synchronized (table) {
-            return new Versions(versions.latest(), versions.pending(), versions.ended(), versions.all());
+    /** Returns the versions as this member has applied them. Any thread may call this. */
+    public VersionView versions() {
+        synchronized (lock) {
+            return new VersionView(
+                    versions.latest(), versions.pending(), versions.lastDecision(), versions.committed());
         }
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseTable.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseTable.java
@@ -3,168 +3,233 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * The replicated state of all leases: one holder a name at a time, and for each name a fencing token that only rises.
+ * The replicated state of all leases: at most one holder per lease at a time, and for each lease a fencing token that
+ * only increases.
  *
- * <p>Every member applies the same commands in the order of the consensus log, each with the time the leader stamped on it
- * (milliseconds of the table's time as {@link LeaderClock} counts it on). The table's own time is the greatest stamp seen
- * so far. Nothing here reads a clock or does I/O, so the table is deterministic: the same log gives the same table on every
- * member and after every restart.
+ * <p>Every member applies the same commands in the order of the Raft log. Each command carries the leader's timestamp
+ * (milliseconds of table time, see {@link LeaderClock}); the table's own time is the greatest timestamp applied so far.
+ * The table reads no clock and does no I/O, so it is deterministic: the same log yields the same table on every member
+ * and after every restart.
  *
- * <p>Not thread-safe: the engine applies one command at a time.
+ * <p>Not thread-safe; the state machine applies one command at a time.
  */
 public final class LeaseTable {
-    /** What a command asks. {@code ttlMs} is used by acquire and renew; {@code token} by all but acquire; {@code value} by publish. */
-    public enum Op {
+    /** The longest lease, in milliseconds; a longer one would outlive a failed holder for too long. */
+    public static final long MAX_TTL_MS = 60_000;
+
+    /** The longest published value, in characters; a log entry has to fit into one append request of the engine. */
+    public static final int MAX_VALUE_CHARS = 48_000;
+
+    private static final long BEFORE_FIRST_COMMAND_MS = Long.MIN_VALUE;
+    private static final String NOBODY = "";
+
+    private final Map<String, Lease> leases = new HashMap<>();
+    private final Map<String, Long> lastTokens = new HashMap<>();
+    private final Map<String, String> publishedValues = new HashMap<>();
+    private long nowMs = BEFORE_FIRST_COMMAND_MS;
+
+    /** What a command asks for. The constants' JSON names are part of the log format. */
+    public enum Operation {
+        /** To become the holder. */
         @JsonProperty("ACQUIRE")
         ACQUIRE,
+        /** To extend the lease that the holder has. */
         @JsonProperty("RENEW")
         RENEW,
+        /** To give the lease back before it expires. */
         @JsonProperty("RELEASE")
         RELEASE,
+        /** To publish a value under the lease, as its holder. */
         @JsonProperty("PUBLISH")
         PUBLISH
     }
 
-    /** One command, as stored in the log: the leader's stamp {@code atMs} is set when the leader takes it in. */
+    /**
+     * One command, as stored in the log. The constructor throws {@link IllegalArgumentException} for a command that may
+     * not enter the log.
+     *
+     * @param operation what is asked for
+     * @param lease the name of the lease
+     * @param holder the member's incarnation that asks, see {@link LeaseGroup#holderId}
+     * @param token the fencing token of the lease that the holder has; not used by ACQUIRE
+     * @param ttlMs the time to live that is asked for, in milliseconds; used by ACQUIRE and RENEW
+     * @param tableTimeMs the leader's timestamp, set when the leader accepts the command
+     * @param value the value of PUBLISH, otherwise null
+     */
     public record Command(
-            @JsonProperty("op") Op op,
-            @JsonProperty("name") String name,
+            @JsonProperty("op") Operation operation,
+            @JsonProperty("name") String lease,
             @JsonProperty("holder") String holder,
             @JsonProperty("token") long token,
             @JsonProperty("ttlMs") long ttlMs,
-            @JsonProperty("atMs") long atMs,
+            @JsonProperty("atMs") long tableTimeMs,
             @JsonProperty("value") String value) {
+        /** Throws {@link IllegalArgumentException} with the reason if the command is malformed. */
         public Command {
-            if (name.isEmpty() || holder.isEmpty()) {
+            if (lease.isEmpty() || holder.isEmpty()) {
                 throw new IllegalArgumentException("a lease command needs a name and a holder");
             }
-            if (op == Op.PUBLISH && (value == null || value.length() > MOST_VALUE)) {
-                throw new IllegalArgumentException("a value to publish has at most " + MOST_VALUE + " characters");
+            if (operation == Operation.PUBLISH && (value == null || value.length() > MAX_VALUE_CHARS)) {
+                throw new IllegalArgumentException("a value to publish has at most " + MAX_VALUE_CHARS + " characters");
             }
-            if ((op == Op.ACQUIRE || op == Op.RENEW) && (ttlMs <= 0 || ttlMs > MOST_TTL_MS)) {
-                throw new IllegalArgumentException("ttl_ms " + ttlMs + ": from 1 to " + MOST_TTL_MS + " allowed");
+            boolean needsTtl = operation == Operation.ACQUIRE || operation == Operation.RENEW;
+            if (needsTtl && (ttlMs <= 0 || ttlMs > MAX_TTL_MS)) {
+                throw new IllegalArgumentException("ttl_ms " + ttlMs + ": from 1 to " + MAX_TTL_MS + " allowed");
             }
         }
 
-        public Command(Op op, String name, String holder, long token, long ttlMs, long atMs) {
-            this(op, name, holder, token, ttlMs, atMs, null);
+        /** A command without a value: any operation but PUBLISH. */
+        public Command(Operation operation, String lease, String holder, long token, long ttlMs, long tableTimeMs) {
+            this(operation, lease, holder, token, ttlMs, tableTimeMs, null);
         }
 
-        Command stamped(long at) {
-            return new Command(op, name, holder, token, ttlMs, at, value);
+        /** The same command with the leader's timestamp. */
+        Command stamped(long leaderTimeMs) {
+            return new Command(operation, lease, holder, token, ttlMs, leaderTimeMs, value);
         }
     }
 
     /**
-     * What a command came to. {@code granted}: the holder has the lease with {@code token} until {@code untilMs} of the
-     * table's time. Otherwise {@code holder} is who has it and {@code againMs} how long until it may be free (0 where it
-     * was the holder's own to release, or it was not held).
+     * The result of a command, sent back to the member that asked.
+     *
+     * @param granted whether the operation was carried out
+     * @param holder who holds the lease now; empty if nobody does
+     * @param token the fencing token of the lease, or the last one granted if nobody holds it
+     * @param expiresAtMs when the lease expires, in table time; the present table time if nobody holds it
+     * @param retryAfterMs after a rejection, how long until the lease may be free; 0 if it was not held
      */
     public record Outcome(
             @JsonProperty("granted") boolean granted,
             @JsonProperty("holder") String holder,
             @JsonProperty("token") long token,
-            @JsonProperty("untilMs") long untilMs,
-            @JsonProperty("againMs") long againMs) {
-        static Outcome refused(Lease held, long now) {
-            return new Outcome(false, held.holder(), held.token(), held.untilMs(), Math.max(0, held.untilMs() - now));
+            @JsonProperty("untilMs") long expiresAtMs,
+            @JsonProperty("againMs") long retryAfterMs) {
+        private static Outcome granted(Lease lease) {
+            return new Outcome(true, lease.holder(), lease.token(), lease.expiresAtMs(), 0);
+        }
+
+        static Outcome refused(Lease held, long nowMs) {
+            long remainingMs = Math.max(0, held.expiresAtMs() - nowMs);
+            return new Outcome(false, held.holder(), held.token(), held.expiresAtMs(), remainingMs);
         }
     }
 
-    /** A name's lease: who has it, by which token, until when in the table's time. */
+    /**
+     * A lease as it was granted last.
+     *
+     * @param holder the incarnation that holds it
+     * @param token its fencing token
+     * @param expiresAtMs when it expires, in table time
+     */
     public record Lease(
             @JsonProperty("holder") String holder,
             @JsonProperty("token") long token,
-            @JsonProperty("untilMs") long untilMs) {}
+            @JsonProperty("untilMs") long expiresAtMs) {}
+
+    /**
+     * The whole table, for a Raft snapshot.
+     *
+     * @param leases the leases by name, expired ones among them
+     * @param lastTokens the last fencing token granted, by lease
+     * @param publishedValues the last value published, by lease
+     * @param tableTimeMs the table time
+     */
+    public record Snapshot(
+            @JsonProperty("leases") Map<String, Lease> leases,
+            @JsonProperty("tokens") Map<String, Long> lastTokens,
+            @JsonProperty("published") Map<String, String> publishedValues,
+            @JsonProperty("nowMs") long tableTimeMs) {}
+
+    /** Applies one command in log order; the effect depends on the table and the command alone. */
+    public Outcome apply(Command command) {
+        nowMs = Math.max(nowMs, command.tableTimeMs());
+        return switch (command.operation()) {
+            case ACQUIRE -> acquire(command);
+            case RENEW -> renew(command);
+            case RELEASE -> release(command);
+            case PUBLISH -> publish(command);
+        };
+    }
+
+    /**
+     * A holder that acquires again keeps its token: with a new one it would fence off its own operations that are still
+     * in flight.
+     */
+    private Outcome acquire(Command command) {
+        Optional<Lease> held = unexpired(command.lease());
+        if (held.isEmpty()) {
+            return grant(command, lastTokens.merge(command.lease(), 1L, Long::sum));
+        }
+        Lease lease = held.get();
+        return lease.holder().equals(command.holder()) ? grant(command, lease.token()) : Outcome.refused(lease, nowMs);
+    }
 
-    /** A lease longer than a minute is a lease that outlives its holder's failure by too long to be of use. */
-    public static final long MOST_TTL_MS = 60_000;
+    private Outcome renew(Command command) {
+        return isFromHolder(command) ? grant(command, command.token()) : refuse(command.lease());
+    }
 
-    /** The longest value that a holder may publish: one entry of the log has to fit what the engine sends at once. */
-    public static final int MOST_VALUE = 48_000;
+    private Outcome release(Command command) {
+        if (!isFromHolder(command)) {
+            return refuse(command.lease());
+        }
+        leases.remove(command.lease());
+        return new Outcome(true, NOBODY, command.token(), nowMs, 0);
+    }
 
-    private final Map<String, String> published = new HashMap<>();
-    private final Map<String, Lease> leases = new HashMap<>();
-    private final Map<String, Long> tokens = new HashMap<>();
-    private long now = Long.MIN_VALUE;
-
-    /** Applies one command in log order; its effect depends on the table and the command alone. */
-    public Outcome apply(Command c) {
-        now = Math.max(now, c.atMs());
-        Lease held = leases.get(c.name());
-        boolean live = held != null && held.untilMs() > now;
-        boolean own = live && held.holder().equals(c.holder());
-        switch (c.op()) {
-            case ACQUIRE -> {
-                if (live && !own) {
-                    return Outcome.refused(held, now);
-                }
-                // The holder that asks again keeps its token: a second grant of a new token to the same holder would
-                // fence
-                // off its own acts that are still under way.
-                long token = own ? held.token() : tokens.merge(c.name(), 1L, Long::sum);
-                return grant(c.name(), c.holder(), token, c.ttlMs());
-            }
-            case RENEW -> {
-                if (!own || held.token() != c.token()) {
-                    return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
-                }
-                return grant(c.name(), c.holder(), held.token(), c.ttlMs());
-            }
-            case RELEASE -> {
-                if (own && held.token() == c.token()) {
-                    leases.remove(c.name());
-                    return new Outcome(true, "", held.token(), now, 0);
-                }
-                return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
-            }
-            case PUBLISH -> { // what a holder that no longer holds has found out is not passed on
-                if (own && held.token() == c.token()) {
-                    published.put(c.name(), c.value());
-                    return new Outcome(true, held.holder(), held.token(), held.untilMs(), 0);
-                }
-                return live ? Outcome.refused(held, now) : new Outcome(false, "", lastToken(c.name()), now, 0);
-            }
-            default -> throw new AssertionError(c.op());
+    private Outcome publish(Command command) {
+        if (!isFromHolder(command)) {
+            return refuse(command.lease());
         }
+        publishedValues.put(command.lease(), command.value());
+        return Outcome.granted(leases.get(command.lease()));
     }
 
-    private Outcome grant(String name, String holder, long token, long ttlMs) {
-        Lease lease = new Lease(holder, token, now + ttlMs);
-        leases.put(name, lease);
-        return new Outcome(true, holder, token, lease.untilMs(), 0);
+    private Outcome grant(Command command, long token) {
+        Lease lease = new Lease(command.holder(), token, nowMs + command.ttlMs());
+        leases.put(command.lease(), lease);
+        return Outcome.granted(lease);
     }
 
-    private long lastToken(String name) {
-        return tokens.getOrDefault(name, 0L);
+    private Outcome refuse(String lease) {
+        return unexpired(lease)
+                .map(held -> Outcome.refused(held, nowMs))
+                .orElseGet(() -> new Outcome(false, NOBODY, lastTokens.getOrDefault(lease, 0L), nowMs, 0));
     }
 
-    /** The table's time: the greatest stamp applied, in milliseconds since the fleet's first command. */
-    public long now() {
-        return now;
+    private Optional<Lease> unexpired(String lease) {
+        return Optional.ofNullable(leases.get(lease)).filter(held -> held.expiresAtMs() > nowMs);
     }
 
-    /** All of it, for a snapshot: every lease, every name's last token and last published value, and the time. */
-    public record Image(
-            @JsonProperty("leases") Map<String, Lease> leases,
-            @JsonProperty("tokens") Map<String, Long> tokens,
-            @JsonProperty("published") Map<String, String> published,
-            @JsonProperty("nowMs") long nowMs) {}
-
-    public Image image() {
-        return new Image(Map.copyOf(leases), Map.copyOf(tokens), Map.copyOf(published), now);
-    }
-
-    /** Takes back a snapshot's state; the table's time is that of the snapshot. */
-    public void restore(Image saved) {
-        leases.clear();
-        leases.putAll(saved.leases());
-        tokens.clear();
-        tokens.putAll(saved.tokens());
-        published.clear();
-        published.putAll(saved.published());
-        now = saved.nowMs();
+    /** Whether the sender holds the lease, unexpired and by the token it names. */
+    private boolean isFromHolder(Command command) {
+        return unexpired(command.lease())
+                .filter(held -> held.holder().equals(command.holder()) && held.token() == command.token())
+                .isPresent();
+    }
+
+    /** The table time: the greatest timestamp applied, in milliseconds since the group's first command. */
+    public long tableTimeMs() {
+        return nowMs;
+    }
+
+    /** Returns a copy of the whole state. */
+    public Snapshot snapshot() {
+        return new Snapshot(Map.copyOf(leases), Map.copyOf(lastTokens), Map.copyOf(publishedValues), nowMs);
+    }
+
+    /** Replaces the whole state, table time included, by that of a snapshot. */
+    public void restore(Snapshot snapshot) {
+        replace(leases, snapshot.leases());
+        replace(lastTokens, snapshot.lastTokens());
+        replace(publishedValues, snapshot.publishedValues());
+        nowMs = snapshot.tableTimeMs();
+    }
+
+    private static <V> void replace(Map<String, V> target, Map<String, V> source) {
+        target.clear();
+        target.putAll(source);
     }
 }
--- a/src/main/java/elderseam/fleet/lease/LeaseValidityModel.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseValidityModel.java
@@ -1,90 +1,164 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.ClockDriftBound;
 import elderseam.fleet.lease.LeaseTable.Command;
-import elderseam.fleet.lease.LeaseTable.Op;
+import elderseam.fleet.lease.LeaseTable.Operation;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
- * An exhaustive model of the holder's acting rule: three processes (two that lead one after the other and stamp the table,
- * and a holder; the second holder asks every millisecond until it is granted) over every combination of the three clocks'
- * rates, the delay of the first grant, the instant at which the lead passes on, and the start and length of every act the
- * first holder may try. The table, the stamps and the rule are the shipped ones ({@link LeaseTable}, {@link LeaderClock},
- * {@link LeaseValidity}).
+ * An exhaustive model check of {@link LeaseValidity}. Three processes take part: two that lead the group one after the
+ * other and stamp the table, and a holder; a second holder requests the lease every millisecond until it is granted. The
+ * search covers every combination of the three clocks' rates, the delay of the first grant, the instant at which the
+ * leader changes, and the start and length of every act that the first holder may try. The table, the timestamps and the
+ * rule are the production ones ({@link LeaseTable}, {@link LeaderClock}, {@link LeaseValidity}).
  *
- * <p>A schedule is unsafe where the first holder, by its own clock, acts at a true instant at which the second already
- * holds the name. With a margin of at least the true drift none is; with none, or with a table that trusts wall clocks
- * which stand apart, the search finds one.
+ * <p>A schedule is unsafe if the first holder, allowed by its own clock, acts at a true instant at which the second one
+ * already holds the lease. With a margin of at least the true drift there is none; without a margin, or with a table that
+ * trusts wall clocks which disagree, the search finds one. Stateless; used by tests.
  */
 public final class LeaseValidityModel {
-    /** A schedule that broke the rule: rates of holder and leaders, the grant's delay, the change of lead, the act's true span. */
+    private static final String LEASE = "task";
+    private static final String FIRST_HOLDER = "p";
+    private static final String SECOND_HOLDER = "q";
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
+    /** Steps of the search, in hundredths of the lease's time to live. */
+    private static final int DELAY_STEPS = 5;
+
+    private static final int CHANGE_STEPS = 10;
+    private static final int ACT_LENGTH_STEPS = 4;
+
+    /**
+     * A schedule that broke the rule; instants are true milliseconds.
+     *
+     * @param holderRate the rate of the first holder's clock, 1 for true time
+     * @param firstLeaderRate the rate of the first leader's clock
+     * @param secondLeaderRate the rate of the second leader's clock
+     * @param grantDelayMs how long the first grant took from its request
+     * @param leaderChangeMs when the leader changed
+     * @param actFromMs when the unsafe act began
+     * @param actToMs when it still ran
+     * @param secondGrantMs when the second holder was granted the lease
+     */
     public record Counterexample(
-            double holder,
-            double first,
-            double second,
-            long delayMs,
-            long changeMs,
+            double holderRate,
+            double firstLeaderRate,
+            double secondLeaderRate,
+            long grantDelayMs,
+            long leaderChangeMs,
             long actFromMs,
             long actToMs,
-            long grantedMs) {}
+            long secondGrantMs) {}
+
+    private final long ttlMs;
+    private final long stepMs;
+    private final double[] clockRates;
+    private final long secondLeaderAheadMs;
+    private final LeaseValidity validity;
 
-    private LeaseValidityModel() {}
+    private LeaseValidityModel(long ttlMs, double trueDrift, long secondLeaderAheadMs, ClockDriftBound driftBound) {
+        this.ttlMs = ttlMs;
+        this.stepMs = Math.max(1, ttlMs / 100);
+        this.clockRates = new double[] {1 - trueDrift, 1, 1 + trueDrift};
+        this.secondLeaderAheadMs = secondLeaderAheadMs;
+        LeaseTable.Outcome granted = new LeaseTable.Outcome(true, FIRST_HOLDER, 1, 0, 0);
+        this.validity = LeaseValidity.of(granted, 0, ttlMs, driftBound);
+    }
 
     /**
-     * Explores every schedule with clocks that run off true time by up to {@code trueDrift}, the holder keeping the margin
-     * {@code bounds}; {@code ttlMs} is the lease's term, and the second leader's stamps are {@code aheadMs} further than its
-     * term allows (0 as shipped; what a wall clock that stands ahead would give).
+     * Explores every schedule and returns the first unsafe one, if any.
+     *
+     * @param ttlMs the lease's time to live in milliseconds
+     * @param trueDrift how far the clocks' rates are off true time at the most, as a fraction
+     * @param secondLeaderAheadMs by how much the second leader's timestamps are ahead of what its term allows: 0 in
+     *     production, more models wall clocks that disagree
+     * @param driftBound the margin that the holder keeps
      */
     public static Optional<Counterexample> explore(
-            long ttlMs, double trueDrift, long aheadMs, LeaseValidity.Bounds bounds) {
-        double[] rates = {1 - trueDrift, 1, 1 + trueDrift};
-        long step = Math.max(1, ttlMs / 100);
-        for (double first : rates) {
-            for (double second : rates) {
-                for (long delay = 0; delay <= ttlMs / 4; delay += 5 * step) {
-                    for (long change = delay; change <= 2 * ttlMs; change += 10 * step) {
-                        long granted = secondGrant(ttlMs, delay, change, first, second, aheadMs);
-                        LeaseValidity tenure =
-                                LeaseValidity.of(new LeaseTable.Outcome(true, "p", 1, 0, 0), 0, ttlMs, bounds);
-                        for (double holder : rates) {
-                            long from = unsafe(tenure, holder, granted, ttlMs, step);
-                            if (from >= 0) {
-                                return Optional.of(new Counterexample(
-                                        holder, first, second, delay, change, from, granted, granted));
-                            }
-                        }
-                    }
+            long ttlMs, double trueDrift, long secondLeaderAheadMs, ClockDriftBound driftBound) {
+        return new LeaseValidityModel(ttlMs, trueDrift, secondLeaderAheadMs, driftBound).exploreLeaderRates();
+    }
+
+    private Optional<Counterexample> exploreLeaderRates() {
+        for (double firstRate : clockRates) {
+            for (double secondRate : clockRates) {
+                Optional<Counterexample> found = exploreDelays(firstRate, secondRate);
+                if (found.isPresent()) {
+                    return found;
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Counterexample> exploreDelays(double firstRate, double secondRate) {
+        for (long delayMs = 0; delayMs <= ttlMs / 4; delayMs += DELAY_STEPS * stepMs) {
+            for (long changeMs = delayMs; changeMs <= 2 * ttlMs; changeMs += CHANGE_STEPS * stepMs) {
+                Optional<Counterexample> found = exploreHolderRates(firstRate, secondRate, delayMs, changeMs);
+                if (found.isPresent()) {
+                    return found;
                 }
             }
         }
         return Optional.empty();
     }
 
-    /** The true start of an act that the holder's clock allows and that still runs at {@code granted}; -1 where there is none. */
-    private static long unsafe(LeaseValidity tenure, double rate, long granted, long ttlMs, long step) {
-        for (long from = 0; from <= 2 * ttlMs; from += step) {
-            for (long to = Math.max(from, granted); to <= Math.max(from, granted) + 4 * step; to += 4 * step) {
-                if (tenure.mayAct((long) (from * rate * 1_000_000), (long) (to * rate * 1_000_000))) {
-                    return from;
+    private Optional<Counterexample> exploreHolderRates(
+            double firstRate, double secondRate, long delayMs, long changeMs) {
+        long grantedMs = secondGrantMs(firstRate, secondRate, delayMs, changeMs);
+        for (double holderRate : clockRates) {
+            OptionalLong unsafeFromMs = unsafeActMs(holderRate, grantedMs);
+            if (unsafeFromMs.isPresent()) {
+                return Optional.of(new Counterexample(
+                        holderRate,
+                        firstRate,
+                        secondRate,
+                        delayMs,
+                        changeMs,
+                        unsafeFromMs.getAsLong(),
+                        grantedMs,
+                        grantedMs));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the true start of an act that the holder's clock allows and that still runs at {@code grantedMs}. */
+    private OptionalLong unsafeActMs(double holderRate, long grantedMs) {
+        long actStepMs = ACT_LENGTH_STEPS * stepMs;
+        for (long fromMs = 0; fromMs <= 2 * ttlMs; fromMs += stepMs) {
+            long shortestToMs = Math.max(fromMs, grantedMs);
+            for (long toMs = shortestToMs; toMs <= shortestToMs + actStepMs; toMs += actStepMs) {
+                if (validity.mayAct(clockNs(fromMs, holderRate), clockNs(toMs, holderRate))) {
+                    return OptionalLong.of(fromMs);
                 }
             }
         }
-        return -1;
+        return OptionalLong.empty();
     }
 
-    /** The first true instant at which the table grants the second holder. */
-    private static long secondGrant(long ttlMs, long delay, long change, double first, double second, long aheadMs) {
+    /** Returns the first true instant at which the table grants the lease to the second holder. */
+    private long secondGrantMs(double firstRate, double secondRate, long delayMs, long changeMs) {
         LeaseTable table = new LeaseTable();
-        LeaderClock one = new LeaderClock(), two = new LeaderClock();
-        table.apply(
-                new Command(Op.ACQUIRE, "task", "p", 0, ttlMs, one.stamp(1, 0, (long) (delay * first * 1_000_000))));
-        for (long t = delay; ; t++) {
-            long stamp = t < change
-                    ? one.stamp(1, table.now(), (long) (t * first * 1_000_000))
-                    : two.stamp(2, table.now(), (long) (t * second * 1_000_000)) + aheadMs;
-            if (table.apply(new Command(Op.ACQUIRE, "task", "q", 0, ttlMs, stamp))
-                    .granted()) {
-                return t;
+        LeaderClock firstLeader = new LeaderClock();
+        LeaderClock secondLeader = new LeaderClock();
+        table.apply(acquire(FIRST_HOLDER, firstLeader.stamp(1, 0, clockNs(delayMs, firstRate))));
+        for (long trueMs = delayMs; ; trueMs++) {
+            long stampMs = trueMs < changeMs
+                    ? firstLeader.stamp(1, table.tableTimeMs(), clockNs(trueMs, firstRate))
+                    : secondLeader.stamp(2, table.tableTimeMs(), clockNs(trueMs, secondRate)) + secondLeaderAheadMs;
+            if (table.apply(acquire(SECOND_HOLDER, stampMs)).granted()) {
+                return trueMs;
             }
         }
     }
+
+    private Command acquire(String holder, long stampMs) {
+        return new Command(Operation.ACQUIRE, LEASE, holder, 0, ttlMs, stampMs);
+    }
+
+    private static long clockNs(long trueMs, double rate) {
+        return (long) (trueMs * rate * NANOS_PER_MILLI);
+    }
 }
--- a/src/main/java/elderseam/fleet/lease/LeasedTask.java
+++ b/src/main/java/elderseam/fleet/lease/LeasedTask.java
@@ -1,28 +1,32 @@
 package elderseam.fleet.lease;
 
+import java.util.OptionalLong;
+
 /**
- * Whether a member does a fleet-wide task itself. The holder does it and publishes what it found; the others go by what is
- * published, and only while that is fresh. Where nothing was published for {@code staleNs}, whatever the cause (no holder, no
- * majority, a holder that is cut off from what the task is about), each does it for itself as if there were no fleet: the
- * lease spares work, and never stands in its way. No I/O; times are nanoseconds of the member's clock.
+ * Whether a member performs a fleet-wide task itself. The lease holder performs it and publishes the result; the others
+ * use what is published, as long as it is fresh. If nothing was published for too long, for whatever reason (no holder, no
+ * majority, a holder that is cut off from what the task is about), each member performs it for itself as if there were no
+ * fleet: the lease saves work and never prevents it.
+ *
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
 public final class LeasedTask {
-    private final long staleNs;
-    private long heardAt;
-    private boolean heard;
+    private final long maxAgeNs;
+    private OptionalLong lastPublishedNs = OptionalLong.empty();
 
-    public LeasedTask(long staleNs) {
-        this.staleNs = staleNs;
+    /** {@code maxAgeNs}: how long a published result counts as fresh. */
+    public LeasedTask(long maxAgeNs) {
+        this.maxAgeNs = maxAgeNs;
     }
 
-    /** Something was published, be it that nothing is new. */
-    public void published(long now) {
-        heard = true;
-        heardAt = now;
+    /** The holder has published a result, even if only that nothing has changed. */
+    public void onPublished(long nowNs) {
+        lastPublishedNs = OptionalLong.of(nowNs);
     }
 
-    /** Whether this member does the task now; {@code holds}: it has the lease. */
-    public boolean own(long now, boolean holds) {
-        return holds || !heard || now - heardAt > staleNs;
+    /** Whether this member performs the task now. */
+    public boolean isPerformedHere(long nowNs, boolean holdsLease) {
+        boolean isFresh = lastPublishedNs.isPresent() && nowNs - lastPublishedNs.getAsLong() <= maxAgeNs;
+        return holdsLease || !isFresh;
     }
 }
