--- a/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
+++ b/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
@@ -1,57 +1,84 @@
 package elderseam.fleet.lease;
 
+import elderseam.fleet.BreakerState;
+import java.util.OptionalLong;
+
 /**
- * Whether a member may try a destination whose breaker is open, or leaves that to the one that holds the lease for it. No
- * I/O; one for each destination, asked at every look; times are nanoseconds of the member's clock.
+ * Whether a member may send a recovery probe to a destination whose breaker is open, or leaves that to the holder of the
+ * destination's lease. One instance per destination, asked periodically.
+ *
+ * <p>A member leaves the probe to another only while the group's last answer says that the other one holds the lease, and
+ * only until that one has published that the destination has recovered. A holder that has nothing to probe with (its
+ * breaker is ready for a probe and no request goes out) gives the lease up for a while. If the group does not answer, each
+ * member probes for itself.
  *
- * <p>A member leaves the trial to another only while the group's last word says that the other holds the lease, and only
- * until that one has published that the destination is back. A holder that has nothing to try with (its breaker is ready for
- * a trial, and none goes out) gives the lease up for a while. Where the group says nothing each tries for itself.
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
 public final class RecoveryProbeTask {
-    /** What to do now. {@code wants}: to hold the lease; {@code defers}: no trial of its own yet; {@code tells}: publish that it is back. */
-    public record Turn(boolean wants, boolean defers, boolean tells) {}
-
-    /** How the member's own breaker stands: it lends, it is ready for a trial or has one out, it sleeps. */
-    public enum Standing {
-        CLOSED,
-        HALF_OPEN,
-        OPEN
+    private final long maxIdleNs;
+    private final long yieldNs;
+    private OptionalLong halfOpenSinceNs = OptionalLong.empty();
+    private long yieldsUntilNs = Long.MIN_VALUE; // has passed by any clock
+    private boolean inOutage;
+    private boolean recoveryPublished; // by this member, as the holder, after the last outage
+    private boolean recoveredElsewhere; // as the holder published during this outage
+
+    /**
+     * What to do now.
+     *
+     * @param wantsLease whether this member is to hold the lease
+     * @param defersProbe whether it sends no probe of its own yet
+     * @param publishesRecovery whether it, as the holder, is to publish that the destination has recovered
+     */
+    public record Decision(boolean wantsLease, boolean defersProbe, boolean publishesRecovery) {}
+
+    /**
+     * @param maxIdleNs how long a holder may be ready for a probe without the outcome of one
+     * @param yieldNs how long it leaves the lease to others after that
+     */
+    public RecoveryProbeTask(long maxIdleNs, long yieldNs) {
+        this.maxIdleNs = maxIdleNs;
+        this.yieldNs = yieldNs;
     }
 
-    private final long idleNs, pauseNs;
-    private long halfOpenSince = -1, pausedUntil = Long.MIN_VALUE;
-    private boolean open, told, back;
+    /** The holder has published that the destination has recovered. */
+    public void onRecoveryPublished() {
+        recoveredElsewhere = true;
+    }
 
-    /** {@code idleNs}: so long a holder may be ready for a trial without one's outcome; {@code pauseNs}: then it does not want the lease. */
-    public RecoveryProbeTask(long idleNs, long pauseNs) {
-        this.idleNs = idleNs;
-        this.pauseNs = pauseNs;
+    /** Decides by the state of the member's own breaker and by who holds the destination's lease. */
+    public Decision decide(long nowNs, BreakerState ownBreaker, LeaseOwner owner) {
+        boolean holdsLease = owner == LeaseOwner.THIS_MEMBER;
+        return ownBreaker == BreakerState.CLOSED
+                ? decideWhileClosed(holdsLease)
+                : decideInOutage(nowNs, ownBreaker, owner, holdsLease);
     }
 
-    /** The holder has published that the destination is back. */
-    public void back() {
-        back = true;
+    private Decision decideWhileClosed(boolean holdsLease) {
+        boolean publishes = inOutage && holdsLease;
+        inOutage = false;
+        recoveryPublished = recoveryPublished && holdsLease || publishes;
+        halfOpenSinceNs = OptionalLong.empty();
+        return new Decision(holdsLease && !recoveryPublished, false, publishes);
     }
 
-    /** {@code holds}: this member has the lease; {@code another}: another is known to have it. */
-    public Turn look(long now, Standing standing, boolean holds, boolean another) {
-        if (standing == Standing.CLOSED) {
-            boolean tells = open && holds;
-            open = false;
-            told = told && holds || tells;
-            halfOpenSince = -1;
-            return new Turn(holds && !told, false, tells);
+    private Decision decideInOutage(long nowNs, BreakerState ownBreaker, LeaseOwner owner, boolean holdsLease) {
+        if (!inOutage) { // what was published during an earlier outage says nothing about this one
+            inOutage = true;
+            recoveryPublished = false;
+            recoveredElsewhere = false;
         }
-        if (!open) { // a new outage: what was published of the one before says nothing of it
-            open = true;
-            told = false;
-            back = false;
+        if (ownBreaker == BreakerState.OPEN) {
+            halfOpenSinceNs = OptionalLong.empty();
+        } else if (halfOpenSinceNs.isEmpty()) {
+            halfOpenSinceNs = OptionalLong.of(nowNs);
         }
-        halfOpenSince = standing == Standing.HALF_OPEN ? halfOpenSince < 0 ? now : halfOpenSince : -1;
-        if (holds && halfOpenSince >= 0 && now - halfOpenSince > idleNs) {
-            pausedUntil = now + pauseNs;
+        boolean isIdle = halfOpenSinceNs.isPresent() && nowNs - halfOpenSinceNs.getAsLong() > maxIdleNs;
+        if (holdsLease && isIdle) {
+            yieldsUntilNs = nowNs + yieldNs;
         }
-        return new Turn(!back && now >= pausedUntil, !holds && another && !back, false);
+        boolean wantsLease = !recoveredElsewhere && nowNs >= yieldsUntilNs;
+        boolean defersProbe = owner == LeaseOwner.ANOTHER_MEMBER && !recoveredElsewhere;
+        return new Decision(wantsLease, defersProbe, false);
     }
 }
--- a/src/main/java/elderseam/fleet/partition/FleetSizeEstimator.java
+++ b/src/main/java/elderseam/fleet/partition/FleetSizeEstimator.java
@@ -1,54 +1,64 @@
 package elderseam.fleet.partition;
 
 import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
 
 /**
- * How many dispatchers share the destinations. Each divides a limit by it, so it errs to the high side: one that comes counts
- * at once, one that goes after {@code holdNs}, in which it may only have been unheard. So after a herd has gone the rest stay
- * below the limit for {@code holdNs} and what gossip takes to notice, and the sum of all shares is never above the limit by more
- * than those who came and were not seen yet.
+ * Estimates how many dispatchers share the destinations. Each divides a limit by the estimate, so it errs on the high
+ * side: a member that joins counts at once, one that leaves still counts for a hold time, during which it may only have
+ * been unreachable. So after many members leave, the rest stay below the limit for the hold time plus what gossip takes to
+ * notice, and the sum of all parts exceeds the limit by no more than the members that joined and were not seen yet.
  *
- * <p>The error: with {@code a} members that came and are not seen yet, and {@code g} that have gone and count still, of {@code n}
- * there, the estimate is {@code n - a + g}. Times are nanoseconds of one monotonic clock.
+ * <p>The error: with {@code a} members that joined and are not seen yet, and {@code g} that left and still count, of
+ * {@code n} present, the estimate is {@code n - a + g}.
+ *
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of one monotonic clock.
  */
 public final class FleetSizeEstimator {
-    private record Seen(long at, int present) {}
+    private record Observation(long atNs, int present) {}
 
-    private final int told;
+    private final int advertisedSize;
     private final long holdNs;
-    private final ArrayDeque<Seen> greatest =
-            new ArrayDeque<>(); // falling numbers: each was the greatest since it was seen
+    /** In the order of time, with decreasing sizes: each was the greatest since it was observed. */
+    private final Deque<Observation> maxima = new ArrayDeque<>();
 
-    /** {@code told}: by the platform or the operator; it counts until something is seen, and is 1 where nobody says. */
-    public FleetSizeEstimator(int told, long holdNs) {
-        this.told = told;
+    /**
+     * @param advertisedSize the size that the platform or the operator advertises, 1 if neither does; used until the
+     *     first observation
+     * @param holdNs how long a member that left still counts
+     */
+    public FleetSizeEstimator(int advertisedSize, long holdNs) {
+        this.advertisedSize = advertisedSize;
         this.holdNs = holdNs;
     }
 
-    /** So many are there now, this one among them. */
-    public void seen(long now, int present) {
-        while (!greatest.isEmpty() && greatest.getLast().present < present) {
-            greatest.removeLast();
+    /** Observes how many members are present now, this one among them. */
+    public void observe(long nowNs, int present) {
+        while (!maxima.isEmpty() && maxima.getLast().present < present) {
+            maxima.removeLast();
         }
-        if (greatest.isEmpty()
-                || greatest.getLast().present > present) { // the same again is there since it was first seen
-            greatest.addLast(new Seen(now, present));
+        boolean isNewSize = maxima.isEmpty() || maxima.getLast().present > present;
+        if (isNewSize) {
+            maxima.addLast(new Observation(nowNs, present));
         }
     }
 
-    /** By how many to divide what all may do together: the most that were there within the hold. */
-    public int sharers(long now) {
-        if (greatest.isEmpty()) {
-            return told;
+    /** Returns by how many to divide what all may do together: the most that were present within the hold time. */
+    public int estimate(long nowNs) {
+        if (maxima.isEmpty()) {
+            return advertisedSize;
         }
-        while (greatest.size()
-                > 1) { // a number was there until the next, lower one was seen: it counts for the hold after that
-            Seen next = greatest.stream().skip(1).findFirst().orElseThrow();
-            if (now - next.at < holdNs) {
-                break;
-            }
-            greatest.removeFirst();
+        while (maxima.size() > 1 && nowNs - secondMaximum().atNs >= holdNs) {
+            maxima.removeFirst();
         }
-        return greatest.getFirst().present;
+        return maxima.getFirst().present;
+    }
+
+    /** The size that replaced the first one; the first was present until then and counts for the hold time after it. */
+    private Observation secondMaximum() {
+        Iterator<Observation> inOrder = maxima.iterator();
+        inOrder.next();
+        return inOrder.next();
     }
 }
--- a/src/main/java/elderseam/fleet/partition/TurnSchedule.java
+++ b/src/main/java/elderseam/fleet/partition/TurnSchedule.java
@@ -3,33 +3,39 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Optional;
 
 /**
- * Whose turn a task is that one member does for all, where nothing agrees on it: the member that hashes first with the task
- * among those that take part, as far as this one knows of them. Two members that know of different ones may both think it
- * theirs, so it is for tasks that are only dearer when done twice, never for one that must be done once; for those there are
- * leases. What falls out of the turn is whoever is not heard of any more.
+ * Whose turn a task is that one member performs for all, without coordination: of the participants, the member whose name
+ * hashes lowest together with the task (rendezvous hashing). Two members that know of different participants may both
+ * consider it theirs. So this is for tasks that only cost more when performed twice, never for one that must be performed
+ * once; those need leases. A member that is not heard of any more loses its turn.
+ *
+ * <p>Stateless and thread-safe.
  */
 public final class TurnSchedule {
     private TurnSchedule() {}
 
-    /** Who does it, or null where nobody takes part. */
-    public static String owner(String task, Collection<String> taking) {
-        return taking.stream()
-                .min(Comparator.comparingLong(
-                                (String m) -> Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + m))
-                        .thenComparing(m -> m))
-                .orElse(null);
+    /** Returns whose turn it is; empty if nobody takes part. */
+    public static Optional<String> owner(String task, Collection<String> participants) {
+        return participants.stream().min(orderOf(task));
     }
 
-    /** Where in the order a member stands, from 0. */
-    public static int place(String task, Collection<String> taking, String member) {
-        long own = Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + member);
+    /** Returns a member's position in the order of turns, from 0. */
+    public static int position(String task, Collection<String> participants, String member) {
+        Comparator<String> order = orderOf(task);
         int before = 0;
-        for (String m : taking) {
-            long h = Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + m);
-            before += !m.equals(member) && (h < own || h == own && m.compareTo(member) < 0) ? 1 : 0;
+        for (String participant : participants) {
+            if (order.compare(participant, member) < 0) {
+                before++;
+            }
         }
         return before;
     }
+
+    private static Comparator<String> orderOf(String task) {
+        Comparator<String> byHash =
+                Comparator.comparingLong(member -> Hashing.wyhashFinal4().hashCharsToLong(task + '\n' + member));
+        return byHash.thenComparing(Comparator.naturalOrder());
+    }
 }
--- a/src/main/java/elderseam/fleet/partition/TurnTakingTask.java
+++ b/src/main/java/elderseam/fleet/partition/TurnTakingTask.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.partition;
 
+import elderseam.fleet.BreakerState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,61 +9,81 @@
 import java.util.Set;
 
 /**
- * Whether a member leaves the trial of a destination whose breaker is open to another, by what the others say of theirs. Those
- * whose breakers are open too take part; the one whose turn it is ({@link TurnSchedule}) tries, the others wait until it says that its
- * breaker is closed, or until it takes part no longer: its words have grown old, it has left, or it stood ready for so long
- * without a trial that it has nothing to try with. No I/O; times are nanoseconds of the member's clock.
+ * Whether a member leaves the recovery probe of a destination whose breaker is open to another, based on what the others
+ * report of their breakers. The members whose breakers are open too take part. The one whose turn it is ({@link
+ * TurnSchedule}) probes; the others wait until it reports that its breaker is closed, or until it takes part no longer:
+ * its report has expired, it has left, or it was ready for so long without a probe that it has no request to probe with.
+ *
+ * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
 public final class TurnTakingTask {
-    /** How a breaker stands, a member's own or as it says. */
-    public enum Standing {
-        CLOSED,
-        HALF_OPEN,
-        OPEN
-    }
-
-    /** What another member says, as far as it counts yet. */
-    public record Other(String member, Standing standing) {}
+    /**
+     * What another member reports of its breaker, while the report counts.
+     *
+     * @param member the member's name
+     * @param breaker the state of its breaker for the destination
+     */
+    public record PeerReport(String member, BreakerState breaker) {}
 
-    private final String task, self;
-    private final long idleNs;
-    private final Map<String, Long> readySince = new HashMap<>();
-    private Set<String> took = new HashSet<>();
-    private boolean back;
+    private final String task;
+    private final String self;
+    private final long maxIdleNs;
+    private final Map<String, Long> halfOpenSinceNs = new HashMap<>(); // by other member
+    private Set<String> othersInOutage = new HashSet<>();
+    private boolean hasRecovered; // for another member, during this outage
 
-    /** {@code task}: the destination's name, the same on all; {@code idleNs}: a member may be ready so long without a trial. */
-    public TurnTakingTask(String task, String self, long idleNs) {
+    /**
+     * @param task the name of the destination, the same on all members
+     * @param self this member's name
+     * @param maxIdleNs how long a member may be ready for a probe without sending one
+     */
+    public TurnTakingTask(String task, String self, long maxIdleNs) {
         this.task = task;
         this.self = self;
-        this.idleNs = idleNs;
+        this.maxIdleNs = maxIdleNs;
     }
 
-    /** Whether no trial of its own is to begin now. */
-    public boolean defers(long now, Standing own, List<Other> others) {
-        if (own == Standing.CLOSED) {
-            took.clear();
-            readySince.clear();
-            back = false;
+    /** Whether this member is to begin no probe now. */
+    public boolean defersProbe(long nowNs, BreakerState ownBreaker, List<PeerReport> reports) {
+        if (ownBreaker == BreakerState.CLOSED) {
+            othersInOutage.clear();
+            halfOpenSinceNs.clear();
+            hasRecovered = false;
             return false;
         }
-        List<String> taking = new ArrayList<>(List.of(self));
-        Set<String> takes = new HashSet<>();
-        for (Other o : others) {
-            if (o.standing == Standing.CLOSED) {
-                back |= took.contains(o.member); // it was down for that one in this outage, and is no more
+        List<String> participants = participants(nowNs, reports);
+        boolean isOwnTurn =
+                TurnSchedule.owner(task, participants).filter(self::equals).isPresent();
+        return !hasRecovered && !isOwnTurn;
+    }
+
+    /** Updates what is known of the others, and returns those that take part, this member among them. */
+    private List<String> participants(long nowNs, List<PeerReport> reports) {
+        List<String> participants = new ArrayList<>();
+        participants.add(self);
+        Set<String> inOutage = new HashSet<>();
+        for (PeerReport report : reports) {
+            String member = report.member();
+            if (report.breaker() == BreakerState.CLOSED) {
+                hasRecovered |= othersInOutage.contains(member);
                 continue;
             }
-            takes.add(o.member);
-            long since = o.standing == Standing.HALF_OPEN ? readySince.computeIfAbsent(o.member, m -> now) : now;
-            if (o.standing == Standing.OPEN) {
-                readySince.remove(o.member);
-            }
-            if (now - since <= idleNs) {
-                taking.add(o.member);
+            inOutage.add(member);
+            if (idleNs(nowNs, report) <= maxIdleNs) {
+                participants.add(member);
             }
         }
-        readySince.keySet().retainAll(takes);
-        took = takes;
-        return !back && !self.equals(TurnSchedule.owner(task, taking));
+        halfOpenSinceNs.keySet().retainAll(inOutage);
+        othersInOutage = inOutage;
+        return participants;
+    }
+
+    /** How long the member has been ready for a probe without the outcome of one. */
+    private long idleNs(long nowNs, PeerReport report) {
+        if (report.breaker() == BreakerState.OPEN) {
+            halfOpenSinceNs.remove(report.member());
+            return 0;
+        }
+        return nowNs - halfOpenSinceNs.computeIfAbsent(report.member(), member -> nowNs);
     }
 }
--- a/src/main/java/elderseam/fleet/selftest/GossipOnlyLease.java
+++ b/src/main/java/elderseam/fleet/selftest/GossipOnlyLease.java
@@ -47,10 +47,15 @@
         if (holds) {
             token = token == 0 ? wallMs : token;
             long at = System.nanoTime();
-            history.at(at, "granted", "lease", NAME, "holder", holder, "token", token, "until_ns", at + LOOK_NS);
+            history.eventAt(at, "granted")
+                    .with("lease", NAME)
+                    .with("holder", holder)
+                    .with("token", token)
+                    .with("until_ns", at + LOOK_NS)
+                    .append();
         } else if (token != 0) {
             token = 0;
-            history.add("released", "lease", NAME, "holder", holder);
+            history.event("released").with("lease", NAME).with("holder", holder).append();
         }
     }
 }
--- a/src/main/java/elderseam/fleet/selftest/LeaseWorkload.java
+++ b/src/main/java/elderseam/fleet/selftest/LeaseWorkload.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -24,7 +25,7 @@
     private final ObjectMapper json = new ObjectMapper();
     private final InetSocketAddress store;
     private final String holder;
-    private final Function<String, LeaseValidity> tenure;
+    private final Function<String, Optional<LeaseValidity>> tenure;
     private final long workNs;
     private final LongSupplier clock;
     private final FaultTestHistory history;
@@ -37,7 +38,7 @@
             InetSocketAddress store,
             String holder,
             List<String> leases,
-            Function<String, LeaseValidity> tenure,
+            Function<String, Optional<LeaseValidity>> tenure,
             long workNs,
             LongSupplier clock,
             FaultTestHistory history) {
@@ -56,7 +57,7 @@
         while (true) {
             boolean acted = false;
             for (String lease : leases) {
-                LeaseValidity t = tenure.apply(lease);
+                LeaseValidity t = tenure.apply(lease).orElse(null);
                 long now = clock.getAsLong();
                 if (t != null && t.mayAct(now, now + 2 * workNs)) { // the work, and as long again for the store
                     act(lease, t);
@@ -71,7 +72,12 @@
 
     private void act(String lease, LeaseValidity t) {
         long n = ++acts;
-        history.add("act", "lease", lease, "holder", holder, "token", t.token(), "n", n);
+        history.event("act")
+                .with("lease", lease)
+                .with("holder", holder)
+                .with("token", t.token())
+                .with("n", n)
+                .append();
         LockSupport.parkNanos(workNs);
         try {
             if (socket == null) {
@@ -89,36 +95,27 @@
                 throw new IOException("the store ended the connection");
             }
             JsonNode said = json.readTree(answer);
-            history.add(
-                    said.get("admitted").asBoolean() ? "done" : "fenced",
-                    "lease",
-                    lease,
-                    "holder",
-                    holder,
-                    "token",
-                    t.token(),
-                    "n",
-                    n);
+            history.event(said.get("admitted").asBoolean() ? "done" : "fenced")
+                    .with("lease", lease)
+                    .with("holder", holder)
+                    .with("token", t.token())
+                    .with("n", n)
+                    .append();
         } catch (IOException e) { // whether it took effect is not known
-            history.add(
-                    "unsure",
-                    "lease",
-                    lease,
-                    "holder",
-                    holder,
-                    "token",
-                    t.token(),
-                    "n",
-                    n,
-                    "why",
-                    String.valueOf(e.getMessage()));
+            history.event("unsure")
+                    .with("lease", lease)
+                    .with("holder", holder)
+                    .with("token", t.token())
+                    .with("n", n)
+                    .with("why", String.valueOf(e.getMessage()))
+                    .append();
             drop();
         }
     }
 
     /** Milliseconds of the tenure that are left, at least one: a socket knows no deadline. */
     private int left(LeaseValidity t) {
-        return (int) Math.max(1, (t.untilNs() - clock.getAsLong()) / 1_000_000);
+        return (int) Math.max(1, (t.expiresAtNs() - clock.getAsLong()) / 1_000_000);
     }
 
     private void drop() {
--- a/src/main/java/elderseam/testkit/emulator/PartitionView.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -72,8 +72,8 @@
     private void look() {
         Set<Integer> now = new HashSet<>(place.view().seen);
         now.add(place.number());
-        size.seen(place.time().now(), now.size());
-        int by = size.sharers(place.time().now());
+        size.observe(place.time().now(), now.size());
+        int by = size.estimate(place.time().now());
         if (changed || by != sharers || !now.equals(members)) {
             changed = false;
             sharers = by;
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -1,6 +1,7 @@
 package elderseam.testkit.faults;
 
 import elderseam.fleet.lease.LeaseGroup;
+import elderseam.fleet.lease.LeaseGroupConfiguration;
 import elderseam.fleet.lease.LeaseStateMachine;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -91,7 +92,7 @@
             for (String name : peers.keySet()) {
                 group.put(
                         name,
-                        LeaseGroup.start(new LeaseGroup.Opening(
+                        LeaseGroup.start(new LeaseGroupConfiguration(
                                 "figures",
                                 name,
                                 peers.get(name),
@@ -100,8 +101,8 @@
                                 500,
                                 "1",
                                 System::nanoTime,
-                                new LeaseStateMachine.Watch() {},
-                                LeaseGroup.SNAPSHOT_EVERY)));
+                                new LeaseStateMachine.Listener() {},
+                                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT)));
             }
             LeaseGroup asking = group.values().iterator().next();
             long began = 0;
--- a/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
@@ -90,14 +90,14 @@
         }
         try (ProcessCluster c = new ProcessCluster(
                 plan, t.folder(), new ProcessCluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
-            c.history().add("healed"); // the first holder is owed as one after a heal is
+            c.history().event("healed").append(); // the first holder is owed as one after a heal is
             c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
             for (int n = 0; n < t.rounds(); n++) {
                 List<FaultInjection> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
                 round(c, plan, faults, !"no-heal".equals(t.plant()));
             }
-            c.history().add("end");
+            c.history().event("end").append();
             HistoryCheckers checkers = HistoryCheckers.read(c.histories());
             Result result = new Result(checkers.all(LIVENESS_MS), figures(checkers, t, began));
             result.violations().forEach(tell);
--- a/src/main/java/elderseam/testkit/faults/VersionProposals.java
+++ b/src/main/java/elderseam/testkit/faults/VersionProposals.java
@@ -34,9 +34,12 @@
                 ? ""
                 : c.member(name)
                         .told("CONFIG PROPOSE " + latest + " "
-                                + ConfigurationVersion.hash(VersionContent.read(file))
-                                        .substring(0, 12) + " " + file + " " + note);
-        c.history().add("propose", "at", name, "answer", answer.strip());
+                                + ConfigurationVersion.shortHash(VersionContent.read(file)) + " " + file + " " + note);
+        c.history()
+                .event("propose")
+                .with("at", name)
+                .with("answer", answer.strip())
+                .append();
         return answer.startsWith("200 asked ") ? answer.substring("200 asked ".length(), answer.indexOf(';')) : "";
     }
 
--- a/src/main/java/elderseam/testkit/faults/VersionTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/VersionTestRun.java
@@ -51,16 +51,16 @@
                 List<FaultInjection> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
                 String led = c.leader();
-                c.history().add("round");
+                c.history().event("round").append();
                 FaultSchedule lasts = faults.isEmpty()
                         ? plan.lasting(QUIET_MS)
                         : "no-confirm".equals(t.plant()) ? plan.lasting(LONG_MS) : plan;
                 refused += round(c, lasts, n, faults) ? 0 : 1;
                 if (c.leader().equals(led)) {
-                    c.history().add("steady");
+                    c.history().event("steady").append();
                 }
             }
-            c.history().add("end");
+            c.history().event("end").append();
             HistoryCheckers checkers = HistoryCheckers.read(c.histories());
             checkers.effects().forEach(ms -> effect.recordValue(Math.min(120_000, ms)));
             List<String> found = new ArrayList<>(checkers.agreement(BOUND_MS + CLOCK_MS, STEP_MS));
--- /dev/null
+++ b/src/test/java/elderseam/fleet/config/VersionContentTest.java
@@ -0,0 +1,77 @@
+package elderseam.fleet.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.settings.SettingsFault;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a version contains, and the directory in which a member keeps versions. */
+class VersionContentTest {
+    @TempDir
+    Path directory;
+
+    private Path proposal;
+
+    @BeforeEach
+    void writeProposal() throws IOException {
+        Files.writeString(directory.resolve("r.rules"), "[table t]\nmatch = first\n");
+        proposal = Files.writeString(directory.resolve("v.ini"), "[rules]\nfiles = r.rules /etc/own.rules\n");
+    }
+
+    private static ConfigurationVersion version(long number, Map<String, String> texts) {
+        return ConfigurationVersion.proposed(number, number - 1, "a", "why", texts);
+    }
+
+    @Test
+    void aVersionContainsWhatAFleetAgreesOnAndNothingElse() throws Exception {
+        Files.writeString(proposal, "[rules]\nfiles = r.rules /etc/own.rules\n[fleet]\nname = x\n");
+        SettingsFault fault = assertThrows(SettingsFault.class, () -> VersionContent.read(proposal));
+        assertTrue(
+                fault.getMessage()
+                        .contains(
+                                "v.ini:3: '[fleet]' is each member's own, allowed in a version: [rules], [discovery]"),
+                fault.getMessage());
+    }
+
+    @Test
+    void aVersionReplacesTheAgreedSectionsOfAMembersOwnSettings() throws Exception {
+        Map<String, String> texts = VersionContent.read(proposal);
+        assertEquals(2, texts.size(), "its settings and the one file without a directory");
+        VersionStore store = new VersionStore(directory.resolve("kept"));
+        ConfigurationVersion version = version(1, texts);
+        Path own = Files.writeString(directory.resolve("own.ini"), "[events]\nlisten = off\n[rules]\nzone = UTC\n");
+        Path textFiles = store.writeTexts(version);
+        List<String> merged = Files.readAllLines(VersionContent.mergeSettings(own, textFiles));
+        assertEquals(
+                List.of(
+                        "[events]",
+                        "listen = off",
+                        "[rules]",
+                        "files = " + textFiles.resolve("r.rules") + " /etc/own.rules"),
+                merged);
+    }
+
+    @Test
+    void aStoreKeepsTheActingVersionAndTheCommittedOnes() throws Exception {
+        VersionStore store = new VersionStore(directory.resolve("kept"));
+        assertEquals(ConfigurationVersion.NONE, store.loadActing());
+        ConfigurationVersion first = version(1, VersionContent.read(proposal));
+        ConfigurationVersion second = version(2, Map.of("settings.ini", "b"));
+        store.saveActing(first);
+        assertEquals(first, new VersionStore(directory.resolve("kept")).loadActing());
+        store.retain(List.of(first));
+        store.retain(List.of(first, second));
+        assertEquals(2, store.loadAll().size());
+        assertFalse(VersionContent.diff(first, second).isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/lease/CertificateOrderTaskTest.java
@@ -0,0 +1,28 @@
+package elderseam.fleet.lease;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class CertificateOrderTaskTest {
+    private static final long PATIENCE_MS = 1_000;
+    private static final long DEADLINE_MS = 10_000;
+
+    private final CertificateOrderTask task = new CertificateOrderTask(PATIENCE_MS);
+
+    private boolean ordersAt(long nowMs, LeaseOwner owner) {
+        return task.isOrderedHere(nowMs, DEADLINE_MS, owner);
+    }
+
+    @Test
+    void theHolderOrdersAndTheOthersWaitUntilNobodyIsKnownOrTheDeadlinePasses() {
+        assertTrue(ordersAt(0, LeaseOwner.THIS_MEMBER));
+        assertFalse(ordersAt(100, LeaseOwner.ANOTHER_MEMBER), "another orders");
+        assertFalse(ordersAt(5_000, LeaseOwner.UNKNOWN));
+        assertFalse(ordersAt(5_999, LeaseOwner.UNKNOWN));
+        assertTrue(ordersAt(6_000, LeaseOwner.UNKNOWN), "nobody known for 1 s");
+        assertFalse(ordersAt(6_100, LeaseOwner.ANOTHER_MEMBER));
+        assertTrue(ordersAt(10_000, LeaseOwner.ANOTHER_MEMBER), "after the deadline it waits for nobody");
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/lease/LeaseRequestScheduleTest.java
@@ -0,0 +1,49 @@
+package elderseam.fleet.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.fleet.ClockDriftBound;
+import elderseam.fleet.lease.LeaseRequestSchedule.NextStep;
+import elderseam.fleet.lease.LeaseTable.Operation;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class LeaseRequestScheduleTest {
+    private static final long TTL_MS = 1000;
+
+    private final LeaseRequestSchedule schedule =
+            new LeaseRequestSchedule(TTL_MS, new ClockDriftBound(0.05), new SplittableRandom(1));
+
+    private Operation requestedAt(long nowNs) {
+        return assertInstanceOf(NextStep.Request.class, schedule.nextStep(nowNs))
+                .operation();
+    }
+
+    private long waitAt(long nowNs) {
+        return assertInstanceOf(NextStep.Wait.class, schedule.nextStep(nowNs)).untilNs();
+    }
+
+    /** Half of the validity is for renewing; a refusal ends it at once, a missing answer lets it run to its end. */
+    @Test
+    void aLeaseIsRenewedInHalfItsTimeAndARefusalIsBelievedAtOnce() {
+        assertEquals(Operation.ACQUIRE, requestedAt(0));
+        LeaseTable.Outcome granted =
+                new LeaseTable().apply(new LeaseTable.Command(Operation.ACQUIRE, "probe:bank-7", "a", 0, TTL_MS, 0));
+        schedule.onAnswer(0, 10_000_000, granted);
+        waitAt(400_000_000);
+        assertEquals(Operation.RENEW, requestedAt(460_000_000));
+        schedule.onNoAnswer(700_000_000);
+        assertTrue(schedule.isHeld(900_000_000));
+        assertFalse(schedule.isHeld(905_000_000));
+        assertEquals(Operation.ACQUIRE, requestedAt(950_000_000), "expired by its own clock");
+        LeaseTable.Outcome refused = LeaseTable.Outcome.refused(new LeaseTable.Lease("b", 2, 3000), 1000);
+        schedule.onAnswer(950_000_000, 960_000_000, refused);
+        assertFalse(schedule.isHeld(960_000_000));
+        assertTrue(
+                waitAt(970_000_000) >= 1_960_000_000,
+                "no sooner than a time to live later, as the refusal said to wait longer");
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/fleet/partition/TurnTakingTaskTest.java
@@ -0,0 +1,77 @@
+package elderseam.fleet.partition;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import elderseam.fleet.BreakerState;
+import elderseam.fleet.partition.TurnTakingTask.PeerReport;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Whose turn a task is, and who waits for whom. */
+class TurnTakingTaskTest {
+    private static final String TASK = "7";
+    private static final String SELF = "me";
+    private static final long MAX_IDLE_NS = 2_000;
+
+    private final TurnTakingTask task = new TurnTakingTask(TASK, SELF, MAX_IDLE_NS);
+
+    private static List<String> names(String prefix, int count) {
+        return IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
+    }
+
+    private static String owner(String task, List<String> participants) {
+        return TurnSchedule.owner(task, participants).orElseThrow();
+    }
+
+    /** A member whose turn is before this one's, or after it. */
+    private static String member(boolean isBeforeSelf) {
+        return names("x", 50).stream()
+                .filter(name -> owner(TASK, List.of(SELF, name)).equals(name) == isBeforeSelf)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void aTurnIsOneMembersAndPassesOn() {
+        List<String> members = names("m", 20);
+        for (String anyTask : names("d", 50)) {
+            String owner = owner(anyTask, members);
+            assertEquals(0, TurnSchedule.position(anyTask, members, owner));
+            List<String> others = new ArrayList<>(members);
+            others.remove(owner);
+            String next = owner(anyTask, others);
+            assertEquals(1, TurnSchedule.position(anyTask, members, next), "the next member in the order");
+        }
+        assertEquals(Optional.empty(), TurnSchedule.owner("d", List.of()));
+    }
+
+    private boolean defers(long nowNs, BreakerState ownBreaker, String peer, BreakerState peerBreaker) {
+        return task.defersProbe(nowNs, ownBreaker, List.of(new PeerReport(peer, peerBreaker)));
+    }
+
+    @Test
+    void theOthersWaitForTheMemberWhoseTurnItIsAndForNobodyElse() {
+        String before = member(true);
+        String after = member(false);
+        assertFalse(defers(0, BreakerState.CLOSED, before, BreakerState.OPEN));
+        assertFalse(defers(10, BreakerState.OPEN, after, BreakerState.OPEN), "its own turn");
+        assertTrue(defers(20, BreakerState.OPEN, before, BreakerState.OPEN));
+        assertTrue(defers(30, BreakerState.HALF_OPEN, before, BreakerState.HALF_OPEN));
+        assertFalse(
+                defers(2_100, BreakerState.HALF_OPEN, before, BreakerState.HALF_OPEN), "it has nothing to probe with");
+        assertTrue(defers(2_200, BreakerState.HALF_OPEN, before, BreakerState.OPEN), "its probe failed");
+        assertFalse(task.defersProbe(2_300, BreakerState.HALF_OPEN, List.of()), "it is not heard of any more");
+        assertTrue(defers(2_400, BreakerState.HALF_OPEN, before, BreakerState.OPEN));
+        assertFalse(defers(2_500, BreakerState.HALF_OPEN, before, BreakerState.CLOSED), "it has recovered");
+        assertFalse(
+                defers(2_600, BreakerState.HALF_OPEN, before, BreakerState.OPEN),
+                "and is not waited for again in this outage");
+        task.defersProbe(2_700, BreakerState.CLOSED, List.of());
+        assertTrue(defers(2_800, BreakerState.OPEN, before, BreakerState.OPEN), "but in the next one");
+    }
+}
