--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -16,7 +16,7 @@
     /** The two lines of the deploy file go straight to their work: the command line's library would cost them a start. */
     public static void main(String[] args) throws Exception {
         if (args.length == 1 && args[0].equals("simhost")) {
-            TestKitLauncher.simulate();
+            TestKitLauncher.runSimulatorHost();
         } else if (args.length >= 1
                 && args.length <= 2
                 && args[0].equals("serve")
@@ -26,8 +26,8 @@
             System.exit(elderseam.cli.Commands.run(
                     args,
                     Main::serve,
-                    TestKitLauncher::simulate,
-                    TestKitLauncher::authority,
+                    TestKitLauncher::runSimulatorHost,
+                    TestKitLauncher::startAcmeAuthority,
                     ClassArchiveTraining::run));
         }
     }
--- a/src/main/java/elderseam/app/ClassArchiveTraining.java
+++ b/src/main/java/elderseam/app/ClassArchiveTraining.java
@@ -18,15 +18,31 @@
 import java.util.stream.Stream;
 
 /**
- * A short life of a dispatcher, for the JVM to note which classes it needs: the build runs it once with
- * {@code -XX:ArchiveClassesAtExit}, and {@code deploy/serve.sh} maps what it wrote. In one process with stand-ins for
- * discovery, the place for notices and one upstream host, all on the loopback, it delivers, fails, refuses, waits and
- * drains; it ends by itself.
+ * A short run of a dispatcher by which the JVM learns what classes one needs: the build runs it once with {@code
+ * -XX:ArchiveClassesAtExit}, and {@code deploy/serve.sh} maps the archive that it writes. In one process, all on the
+ * loopback, it stands in for discovery, the receiver of notifications and one endpoint; requests are delivered, fail,
+ * are rejected and wait; then it drains and exits by itself.
  */
 public final class ClassArchiveTraining {
-    private static final int MESSAGES = 120;
-    private static final long PATIENCE_NS = 10_000 * Clock.MS;
-    private static final String SETTINGS = """
+    private static final int REQUESTS = 120;
+    private static final long CLIENT_IDLE_NS = 10_000 * Clock.MS;
+    private static final long START_DELAY_NS = 300 * Clock.MS;
+    private static final long REQUEST_TIMEOUT_NS = 500 * Clock.MS;
+    private static final long REQUEST_INTERVAL_NS = 5 * Clock.MS;
+    private static final long END_DELAY_NS = 1_500 * Clock.MS;
+    private static final long DISCOVERY_DELAY_NS = 200 * Clock.MS;
+    private static final long ANSWER_DELAY_NS = Clock.MS;
+
+    private static final int MAX_CLIENT_CONNECTIONS = 8;
+    private static final int MAX_CLIENT_ANSWER_BYTES = 1 << 10;
+    private static final int MAX_PARTNER_CONNECTIONS = 64;
+    private static final int MAX_PARTNER_BODY_BYTES = 1 << 20;
+    private static final int BODY_BYTES_PER_REQUEST = 8;
+
+    /** The endpoint's answers, by turns. */
+    private static final List<Integer> STATUS_CODES = List.of(200, 200, 429, 200, 503, 200, 500, 200, 200, 200);
+
+    private static final String PLATFORM_SETTINGS = """
             {"discovery":"ask","replicasOfMe":2,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
              "limits":{"maxAttempts":12,"maxRetryAfterNs":3000000000,"mayCancel":true,"mostHeld":400,
@@ -36,118 +52,125 @@
                          {"name":"pay","effect":"once","giveUpNs":2000000000,"targetNs":1000000000,"windowNs":0}]}""";
 
     private final IoLoop io = new IoLoop(new Clock());
-    private final Path folder = Files.createTempDirectory("elderseam-training");
-    private String address; // of all the outside
-    private int answered;
-
-    private ClassArchiveTraining() throws IOException {}
+    private final Path directory = Files.createTempDirectory("elderseam-training");
+    private final String partnerAddress;
+    private int answeredRequests;
 
-    public static void run() throws Exception {
-        new ClassArchiveTraining().live();
-    }
-
-    private void live() throws Exception {
+    private ClassArchiveTraining() throws IOException {
         HttpServer partner = new HttpServer(
                 io,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                1 << 20,
-                64,
-                1 << 20,
+                MAX_PARTNER_BODY_BYTES,
+                MAX_PARTNER_CONNECTIONS,
+                MAX_PARTNER_BODY_BYTES,
                 null,
-                this::partner);
-        address = text(partner.address());
-        String listen = text(free());
-        Path config = folder.resolve("config.json"), state = Files.createDirectory(folder.resolve("state"));
-        Files.writeString(
-                config,
-                "{\"seed\":\"1\",\"discovery\":\"" + address + "\",\"limits\":{\"sockets\":256,"
-                        + "\"memory_mb\":128,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":["
-                        + server(address)
-                        + "]},\"settings\":" + SETTINGS + "}");
+                this::answerAsPartner);
+        partnerAddress = text(partner.address());
+    }
+
+    /**
+     * Begins the run, which exits the process with 0 when it is done; returns at once.
+     *
+     * @throws IOException if a port of the loopback or a temporary directory can't be used
+     */
+    public static void run() throws IOException {
+        new ClassArchiveTraining().start();
+    }
+
+    private void start() throws IOException {
+        String listen = text(freeAddress());
+        Path state = Files.createDirectory(directory.resolve("state"));
+        Path config = Files.writeString(directory.resolve("config.json"), platformConfig());
         Map<String, String> variables = Map.of(
                 "RELAY_LISTEN",
                 listen,
                 "RELAY_DISCOVERY",
-                address,
+                partnerAddress,
                 "RELAY_STATE",
                 state.toString(),
                 "RELAY_CONFIG",
                 config.toString());
-        Runtime.getRuntime().addShutdownHook(new Thread(this::clean, "clean"));
-        DispatcherServer.serve(variables, Files.writeString(folder.resolve("elderseam.ini"), "# nothing is told\n"));
-        EndpointConnectionPool client = new EndpointConnectionPool(io, PATIENCE_NS, 8, 1 << 10);
-        io.at(io.clock.now() + 300 * Clock.MS, () -> send(client, new EndpointAddress("self", listen), 0));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::deleteDirectory, "clean"));
+        DispatcherServer.serve(variables, Files.writeString(directory.resolve("elderseam.ini"), "# nothing is told\n"));
+        EndpointConnectionPool client =
+                new EndpointConnectionPool(io, CLIENT_IDLE_NS, MAX_CLIENT_CONNECTIONS, MAX_CLIENT_ANSWER_BYTES);
+        EndpointAddress dispatcher = new EndpointAddress("self", listen);
+        io.at(io.clock.now() + START_DELAY_NS, () -> send(client, dispatcher, 0));
     }
 
-    /** One message after the other; then the end. */
-    private void send(EndpointConnectionPool client, EndpointAddress to, int n) {
-        if (n == MESSAGES) {
-            io.at(io.clock.now() + 1_500 * Clock.MS, () -> new Thread(() -> System.exit(0), "end").start());
+    private String platformConfig() {
+        return "{\"seed\":\"1\",\"discovery\":\"" + partnerAddress + "\",\"limits\":{\"sockets\":256,"
+                + "\"memory_mb\":128,\"disk_mb\":3},\"known\":{\"version\":1,\"full\":true,\"servers\":["
+                + endpointEntry() + "]},\"settings\":" + PLATFORM_SETTINGS + "}";
+    }
+
+    /** One request after the other; then the exit. */
+    private void send(EndpointConnectionPool client, EndpointAddress dispatcher, int number) {
+        if (number == REQUESTS) {
+            io.at(io.clock.now() + END_DELAY_NS, () -> new Thread(() -> System.exit(0), "end").start());
             return;
         }
-        long by = io.clock.now() + 500 * Clock.MS;
-        client.send(
-                to,
-                new HttpRequest(
-                        "POST",
-                        n % 3 == 0 ? "/pay" : "/say",
-                        Map.of(
-                                "X-Txn",
-                                "t" + n,
-                                "X-Org",
-                                "org",
-                                "X-Remaining",
-                                "1200m",
-                                "X-Addressing",
-                                "dest=1",
-                                "Idempotency-Key",
-                                "k" + n),
-                        new byte[n * 8]),
-                by,
-                by,
-                reply -> io.at(io.clock.now() + 5 * Clock.MS, () -> send(client, to, n + 1)));
+        long deadlineNs = io.clock.now() + REQUEST_TIMEOUT_NS;
+        client.send(dispatcher, request(number), deadlineNs, deadlineNs, reply -> {
+            long nextNs = io.clock.now() + REQUEST_INTERVAL_NS;
+            io.at(nextNs, () -> send(client, dispatcher, number + 1));
+        });
+    }
+
+    private static HttpRequest request(int number) {
+        Map<String, String> headers = Map.of(
+                "X-Txn",
+                "t" + number,
+                "X-Org",
+                "org",
+                "X-Remaining",
+                "1200m",
+                "X-Addressing",
+                "dest=1",
+                "Idempotency-Key",
+                "k" + number);
+        String path = number % 3 == 0 ? "/pay" : "/say";
+        return new HttpRequest("POST", path, headers, new byte[number * BODY_BYTES_PER_REQUEST]);
     }
 
-    /** All the outside there is. */
-    private void partner(HttpServer.Request r, HttpServer.Answerer to) {
-        if (r.path().startsWith("/registry")) {
-            io.at(
-                    io.clock.now() + 200 * Clock.MS,
-                    () -> to.answer(
-                            200, Map.of(), "{\"version\":2,\"full\":true,\"servers\":[" + server(address) + "]}"));
-        } else if (r.path().equals("/status")) {
-            to.answer(204, Map.of(), "");
+    /** Discovery, the receiver of notifications, and the endpoint. */
+    private void answerAsPartner(HttpServer.Request request, HttpServer.Answerer answerer) {
+        if (request.path().startsWith("/registry")) {
+            String list = "{\"version\":2,\"full\":true,\"servers\":[" + endpointEntry() + "]}";
+            io.at(io.clock.now() + DISCOVERY_DELAY_NS, () -> answerer.answer(200, Map.of(), list));
+        } else if (request.path().equals("/status")) {
+            answerer.answer(204, Map.of(), "");
         } else {
-            int n = answered++;
-            Map<String, String> told = Map.of("X-Pressure", "TEXT x0=0.9, x1=100", "X-RateLimit-Wait-Ms", "30");
-            int code = List.of(200, 200, 429, 200, 503, 200, 500, 200, 200, 200).get(n % 10);
-            io.at(io.clock.now() + Clock.MS, () -> to.answer(code, told, ""));
+            int code = STATUS_CODES.get(answeredRequests % STATUS_CODES.size());
+            answeredRequests++;
+            Map<String, String> headers = Map.of("X-Pressure", "TEXT x0=0.9, x1=100", "X-RateLimit-Wait-Ms", "30");
+            io.at(io.clock.now() + ANSWER_DELAY_NS, () -> answerer.answer(code, headers, ""));
         }
     }
 
-    private static String text(InetSocketAddress at) {
-        return at.getAddress().getHostAddress() + ":" + at.getPort();
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    private static String server(String address) {
-        return "{\"id\":\"s1\",\"addr\":\"" + address
+    private String endpointEntry() {
+        return "{\"id\":\"s1\",\"addr\":\"" + partnerAddress
                 + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":1,\"state\":\"SERVING\","
                 + "\"weight\":100.0,\"started_ms\":0}";
     }
 
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) s.getLocalSocketAddress();
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
-    private void clean() {
-        try (Stream<Path> files = Files.walk(folder)) {
+    private void deleteDirectory() {
+        try (Stream<Path> files = Files.walk(directory)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
             }
         } catch (IOException e) {
-            System.err.println("training: " + e); // what is left is in the temporary folder
+            System.err.println("training: " + e); // what is left is in the temporary directory
         }
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/app/ClientDrain.java
@@ -0,0 +1,52 @@
+package elderseam.app;
+
+import elderseam.core.Clock;
+import elderseam.core.Lifecycle;
+import elderseam.http.IoLoop;
+
+/**
+ * An operator's drain (LAMEDUCK) as clients see it: requests are answered as before, and each connection is closed
+ * after its answer or once it has stood idle. Nothing that is held ends by it. Confined to the I/O thread.
+ */
+final class ClientDrain {
+    /** Idle connections are closed from so long after the drain began on. */
+    private static final long IDLE_GRACE_NS = 700 * Clock.MS;
+
+    private static final long IDLE_CHECK_INTERVAL_NS = 50 * Clock.MS;
+
+    private final IoLoop io;
+    private final Lifecycle lifecycle;
+    private final ListenerGroup listeners;
+    private boolean closingIdleConnections;
+
+    ClientDrain(IoLoop io, Lifecycle lifecycle, ListenerGroup listeners) {
+        this.io = io;
+        this.lifecycle = lifecycle;
+        this.listeners = listeners;
+    }
+
+    /** The drain has begun. */
+    void begin() {
+        System.err.println("lame duck");
+        listeners.closeAfterAnswer(true);
+        if (!closingIdleConnections) {
+            closingIdleConnections = true;
+            io.at(io.clock.now() + IDLE_GRACE_NS, this::closeIdleConnections);
+        }
+    }
+
+    private void closeIdleConnections() {
+        closingIdleConnections = lifecycle.closesConnections();
+        if (closingIdleConnections) {
+            listeners.closeIdleConnections();
+            lifecycle.setClientsGone(listeners.hasNoConnections());
+            io.at(io.clock.now() + IDLE_CHECK_INTERVAL_NS, this::closeIdleConnections);
+        }
+    }
+
+    /** The drain was taken back (REJOIN): connections are kept open again. */
+    void cancel() {
+        System.err.println("back to work");
+        listeners.closeAfterAnswer(false);
+    }
+}
--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -14,111 +14,147 @@
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
 import java.io.IOException;
-import java.util.List;
 import javax.net.ssl.SSLContext;
 
-/** Wires the CloudEvents front; where it is off, and owes nothing from an earlier process, this class is not loaded. */
+/**
+ * Adds the CloudEvents frontend to a dispatcher, with its listeners and their certificate. Confined to the I/O thread.
+ * Not loaded where the frontend is off and owes no outcome from an earlier process.
+ */
 final class CloudEventsSetup {
-    private static final int MOST_CLIENTS = 64;
-    private static final long HEARD_NS = 1_500 * Clock.MS, LOOK_NS = 50 * Clock.MS;
+    private static final int MAX_CLIENTS = 64;
+
+    /** CloudEvents clients have at most this part of all client connections. */
+    private static final int CLIENT_SHARE_DIVISOR = 4;
+
+    private static final int MAX_CHALLENGE_BODY_BYTES = 1 << 10;
+
+    /** How long an unknown challenge waits to be heard of from the member that orders. */
+    private static final long CHALLENGE_WAIT_NS = 1_500 * Clock.MS;
+
+    private static final long CHALLENGE_CHECK_INTERVAL_NS = 50 * Clock.MS;
 
     private final IoLoop io;
     private final EventConfiguration events;
     private final ResourceLimits limits;
-    private final EventFrontend front;
-    private final List<HttpServer> servers;
-    private final LeasedCertificateOrder order; // null where each orders its certificate
+    private final EventFrontend frontend;
+    private final ListenerGroup listeners;
+    private final LeasedCertificateOrder certificateOrder; // null where each member orders its own
+    private HttpServer secureListener; // null until the first certificate
 
+    /**
+     * Registers the frontend with the dispatcher; {@link #openListeners} follows.
+     *
+     * @param rules the operator's rules, or null
+     * @param certificateOrder where one member orders the certificate for all, else null
+     */
     CloudEventsSetup(
             IoLoop io,
             PlatformConfiguration config,
             EventConfiguration events,
-            RequestDispatcher relay,
-            EndpointConnectionPool upstream,
-            EndpointList hosts,
-            List<HttpServer> servers,
-            AdmissionRules rulings,
-            LeasedCertificateOrder order) {
+            RequestDispatcher dispatcher,
+            EndpointConnectionPool endpointConnections,
+            EndpointList endpoints,
+            ListenerGroup listeners,
+            AdmissionRules rules,
+            LeasedCertificateOrder certificateOrder) {
         this.io = io;
         this.events = events;
         this.limits = config.limits();
-        this.servers = servers;
-        this.order = order;
-        this.front = new EventFrontend(io.clock, relay, config.settings(), events, rulings);
-        relay.registerFrontend(EventFrontend.NUMBER, front, new EventAttemptSender(upstream, hosts::host));
+        this.listeners = listeners;
+        this.certificateOrder = certificateOrder;
+        this.frontend = new EventFrontend(io.clock, dispatcher, config.settings(), events, rules);
+        dispatcher.registerFrontend(
+                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::host));
     }
 
-    /** Connections of clients that this front takes of all. */
-    int clients() {
-        return events.listen().isEmpty() ? 0 : Math.min(MOST_CLIENTS, limits.downstream() / 4);
+    /** How many of the process's client connections this frontend takes at the most. */
+    int maxConnections() {
+        return events.listen().isEmpty() ? 0 : Math.min(MAX_CLIENTS, limits.downstream() / CLIENT_SHARE_DIVISOR);
     }
 
-    /** From the next event on. */
-    void rulings(AdmissionRules rulings) {
-        front.rulings(rulings);
+    /** Applies these rules, or none (null), from the next event on. */
+    void rulings(AdmissionRules rules) {
+        frontend.rulings(rules);
     }
 
-    void listen() throws IOException {
-        if (!events.listen().isEmpty() && events.directory().isEmpty()) {
-            listen(clients(), null);
-        } else if (!events.listen().isEmpty()) {
-            certify(clients() / 2);
+    /**
+     * Opens the listeners, if the frontend is on: at once without TLS, else with the first certificate.
+     *
+     * @throws IOException if an address can't be used
+     */
+    void openListeners() throws IOException {
+        if (events.listen().isEmpty()) {
+            return;
+        }
+        if (events.directory().isEmpty()) {
+            openEventListener(maxConnections(), null);
+        } else {
+            openWithCertificate(maxConnections() / 2);
         }
     }
 
-    private HttpServer listen(int most, SSLContext context) throws IOException {
-        HttpServer server = new HttpServer(
+    private HttpServer openEventListener(int maxClients, SSLContext context) throws IOException {
+        HttpServer listener = new HttpServer(
                 io,
                 PlatformConfiguration.address(events.listen()),
                 EventFrontend.MOST_BODY,
-                most,
+                maxClients,
                 limits.reading(),
                 context,
-                front::handle);
-        servers.add(server);
-        System.err.println("events on " + server.address());
-        return server;
+                frontend::handle);
+        listeners.add(listener);
+        System.err.println("events on " + listener.address());
+        return listener;
     }
 
-    /** The events' listener opens with its first certificate, and gets each later one. */
-    private void certify(int most) throws IOException {
-        HttpServer[] secure = new HttpServer[1];
+    private void openWithCertificate(int maxClients) throws IOException {
         CertificateManager certificates = new CertificateManager(
                 events.directory(),
                 events.names(),
                 events.folder(),
-                context -> io.run(() -> {
-                    try {
-                        if (secure[0] == null) {
-                            secure[0] = listen(most, context);
-                        } else {
-                            secure[0].renew(context);
-                        }
-                    } catch (IOException e) {
-                        System.err.println("events: " + e);
-                    }
-                }),
-                order);
-        if (order != null) {
-            order.serves(certificates);
+                context -> io.run(() -> useCertificate(maxClients, context)),
+                certificateOrder);
+        if (certificateOrder != null) {
+            certificateOrder.servedBy(certificates);
         }
-        servers.add(new HttpServer(
+        listeners.add(new HttpServer(
                 io,
                 PlatformConfiguration.address(events.challenges()),
-                1 << 10,
-                most,
+                MAX_CHALLENGE_BODY_BYTES,
+                maxClients,
                 limits.reading(),
                 null,
-                (r, to) -> challenge(certificates, r, to, io.clock.now() + HEARD_NS)));
+                (request, answerer) ->
+                        answerChallenge(certificates, request, answerer, io.clock.now() + CHALLENGE_WAIT_NS)));
         certificates.start();
     }
 
-    /** The authority may look here before the order of another member has been heard of. */
-    private void challenge(CertificateManager certificates, HttpServer.Request r, HttpServer.Answerer to, long by) {
-        if (order == null || certificates.proves(r.path()) || io.clock.now() >= by) {
-            certificates.challenge(r, to);
+    /** The events' listener opens with its first certificate, and gets each later one. */
+    private void useCertificate(int maxClients, SSLContext context) {
+        try {
+            if (secureListener == null) {
+                secureListener = openEventListener(maxClients, context);
+            } else {
+                secureListener.renew(context);
+            }
+        } catch (IOException e) {
+            System.err.println("events: " + e);
+        }
+    }
+
+    /** The authority may ask here before the order of another member has been heard of. */
+    private void answerChallenge(
+            CertificateManager certificates,
+            HttpServer.Request request,
+            HttpServer.Answerer answerer,
+            long deadlineNs) {
+        boolean mayBeHeardOf = certificateOrder != null && !certificates.proves(request.path());
+        if (mayBeHeardOf && io.clock.now() < deadlineNs) {
+            io.at(
+                    io.clock.now() + CHALLENGE_CHECK_INTERVAL_NS,
+                    () -> answerChallenge(certificates, request, answerer, deadlineNs));
         } else {
-            io.at(io.clock.now() + LOOK_NS, () -> challenge(certificates, r, to, by));
+            certificates.challenge(request, answerer);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
@@ -0,0 +1,79 @@
+package elderseam.app;
+
+import elderseam.core.Clock;
+import elderseam.core.RequestDispatcher;
+import elderseam.policy.Sender;
+import elderseam.rules.RuleEnvironment;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The state of the running dispatcher, for rules that ask. Breakers are read from the policy at most once in {@link
+ * #MAX_AGE_NS}. Confined to the I/O thread.
+ */
+final class DispatcherRuleEnvironment implements RuleEnvironment {
+    private static final long MAX_AGE_NS = 50 * Clock.MS;
+
+    /** Before any reading of the clock, and still not so far that a difference overflows. */
+    private static final long NEVER_NS = Long.MIN_VALUE / 2;
+
+    private final Clock clock;
+    private final RequestDispatcher dispatcher;
+    private final Sender.Settings policySettings;
+    private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
+    private long breakersReadNs = NEVER_NS;
+
+    DispatcherRuleEnvironment(Clock clock, RequestDispatcher dispatcher, Sender.Settings policySettings) {
+        this.clock = clock;
+        this.dispatcher = dispatcher;
+        this.policySettings = policySettings;
+    }
+
+    /** The destination's breaker; null where nothing is known of it. */
+    private Sender.Breaker find(long destination) {
+        long nowNs = clock.now();
+        if (nowNs - breakersReadNs > MAX_AGE_NS) {
+            breakersReadNs = nowNs;
+            breakers.clear();
+            dispatcher.forEachBreaker(breakers::put);
+        }
+        return breakers.get(destination);
+    }
+
+    @Override
+    public Breaker breaker(long destination) {
+        Sender.Breaker breaker = find(destination);
+        if (breaker == null) {
+            return Breaker.CLOSED;
+        }
+        return switch (breaker.standing()) {
+            case CLOSED -> Breaker.CLOSED;
+            case HALF_OPEN -> Breaker.HALF_OPEN;
+            case OPEN -> Breaker.OPEN;
+        };
+    }
+
+    @Override
+    public long waitNs(long destination) {
+        Sender.Breaker breaker = find(destination);
+        return breaker == null ? 0 : Math.max(0, breaker.waitNs());
+    }
+
+    @Override
+    public int inFlight(long destination) {
+        return dispatcher.attemptsInFlight(destination);
+    }
+
+    @Override
+    public int held() {
+        return dispatcher.requestsInFlight();
+    }
+
+    @Override
+    public double share(int tenant) {
+        if (tenant < 0 || tenant >= policySettings.tenantRates().size()) {
+            return 0;
+        }
+        return policySettings.tenantRates().get(tenant) / Math.max(1, policySettings.senders());
+    }
+}
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -11,102 +11,122 @@
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
+import java.util.Optional;
 
 /**
- * All by which a dispatcher knows of the others of its fleet: gossip, shares of what all do, leases. Each is null while it is off, and
- * then none of its classes is loaded. Of the I/O thread.
+ * Everything by which a dispatcher works with the others of its fleet: gossip, the partition of capacity, leases and
+ * versions. Each is null while it is off, and none of its classes is loaded then. Confined to the I/O thread.
  */
 final class FleetServices {
     private final IoLoop io;
     private final PlatformConfiguration config;
     private final Settings settings;
-    private final RequestDispatcher relay;
+    private final RequestDispatcher dispatcher;
     private final DiscoveryWatcher discovery;
-    private final EndpointList hosts;
-    private final LeasedCertificateOrder order;
-    private final VersionService.Reader reader;
+    private final EndpointList endpoints;
+    private final LeasedCertificateOrder certificateOrder;
+    private final VersionReader versionReader;
     private GossipService gossip;
-    private PartitionService shares;
-    private LeaseService fleet;
+    private PartitionService partition;
+    private LeaseService leases;
 
-    /** {@code order}: where one member orders the certificate for all, else null; {@code reader}: of versions. */
+    /**
+     * Joins the fleet as the settings say.
+     *
+     * @param certificateOrder where one member orders the certificate for all, else null
+     * @param versionReader reads the versions that the fleet agrees on
+     * @throws IOException if a key, roster or address can't be used
+     */
     FleetServices(
             IoLoop io,
             PlatformConfiguration config,
             Settings settings,
-            RequestDispatcher relay,
+            RequestDispatcher dispatcher,
             DiscoveryWatcher discovery,
-            EndpointList hosts,
-            LeasedCertificateOrder order,
-            VersionService.Reader reader)
+            EndpointList endpoints,
+            LeasedCertificateOrder certificateOrder,
+            VersionReader versionReader)
             throws IOException {
         this.io = io;
         this.config = config;
         this.settings = settings;
-        this.relay = relay;
+        this.dispatcher = dispatcher;
         this.discovery = discovery;
-        this.hosts = hosts;
-        this.order = order;
-        this.reader = reader;
+        this.endpoints = endpoints;
+        this.certificateOrder = certificateOrder;
+        this.versionReader = versionReader;
         join();
     }
 
     /** Begins, or begins anew after {@link #leave}. */
     void join() throws IOException {
-        SettingsMap told = config.settings();
-        int count = told.settings().senders();
-        gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off") ? null : new GossipService(io, settings, relay);
-        shares = switch (settings.get(SettingKeys.SHARES_MEMBERS)) {
-            case "gossip" -> new PartitionService(io, settings, relay, hosts, count, gossip);
-            case "told" ->
-                new PartitionService(
-                        io,
-                        settings,
-                        relay,
-                        hosts,
-                        count,
-                        new PartitionService.Told((int) told.getLong("me", 0), count));
+        gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off")
+                ? null
+                : new GossipService(io, settings, dispatcher);
+        partition = openPartition();
+        leases = settings.get(SettingKeys.FLEET_LISTEN).equals("off") ? null : openLeases();
+    }
+
+    private LeaseService openLeases() throws IOException {
+        LeaseService.Tasks tasks =
+                new LeaseService.Tasks(dispatcher, discovery, endpoints, certificateOrder, versionReader);
+        return new LeaseService(io, settings, config.state(), config.seed(), tasks);
+    }
+
+    private PartitionService openPartition() {
+        SettingsMap platform = config.settings();
+        int senderCount = platform.settings().senders();
+        PartitionMembers members = switch (settings.get(SettingKeys.SHARES_MEMBERS)) {
+            case "gossip" -> gossip;
+            case "told" -> new ConfiguredMembers((int) platform.getLong("me", 0), senderCount);
             default -> null;
         };
-        fleet = settings.get(SettingKeys.FLEET_LISTEN).equals("off")
-                ? null
-                : new LeaseService(
-                        io,
-                        settings,
-                        config.state(),
-                        config.seed(),
-                        new LeaseService.Work(relay, discovery, hosts, order, reader));
+        if (members == null) {
+            return null;
+        }
+        return new PartitionService(io, settings, dispatcher, endpoints, senderCount, members);
     }
 
-    /** Says good-bye to all: the process ends, or its addresses are another's from now on. */
+    /** Leaves the fleet: the process ends, or another one has its addresses from now on. */
     void leave() {
-        if (shares != null) {
-            shares.leave();
+        if (partition != null) {
+            partition.leave();
         }
         if (gossip != null) {
             gossip.leave();
         }
-        if (fleet != null) {
-            fleet.leave();
+        if (leases != null) {
+            leases.leave();
         }
     }
 
-    /** Reads what fresh settings name; what applies it, whole. */
+    /** Reads what fresh settings name; the result applies it, on the I/O thread. */
     Runnable reload(Settings fresh) throws IOException {
         return gossip == null ? () -> {} : gossip.reload(fresh);
     }
 
-    /** Whether there are leases to be asked about. */
-    boolean leases() {
-        return fleet != null;
+    /** Whether the fleet's leases are on. */
+    boolean hasLeases() {
+        return leases != null;
+    }
+
+    /** Whether the fleet agrees on versions. */
+    boolean hasVersions() {
+        return versions().isPresent();
+    }
+
+    /** The versions that the fleet agrees on, where it does. */
+    Optional<VersionService> versions() {
+        return leases == null ? Optional.empty() : leases.versions();
     }
 
-    /** The versions that the fleet agrees on, or null. */
-    VersionService versions() {
-        return fleet == null ? null : fleet.versions();
+    /** Answers an operator's FLEET command; only where {@link #hasLeases}. */
+    CommandResult answerFleet(OperatorCommand.Fleet command) {
+        return leases.answer(command);
     }
 
-    CommandResult told(OperatorCommand.Fleet command) {
-        return fleet.told(command);
+    /** Answers an operator's CONFIG command; only where {@link #hasVersions}. */
+    CommandResult answerConfig(OperatorCommand.Config command) {
+        return versions().orElseThrow().answer(command);
     }
 }
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -22,116 +22,133 @@
 import java.util.List;
 import java.util.Map;
 
-/** Wires the gossip to the relay; where it is off this class is not loaded. */
-final class GossipService implements PartitionService.Members {
-    private static final Map<Sender.Standing, HealthReport.State> STATES = Map.of(
-            Sender.Standing.CLOSED,
-            HealthReport.State.CLOSED,
-            Sender.Standing.HALF_OPEN,
-            HealthReport.State.HALF_OPEN,
-            Sender.Standing.OPEN,
-            HealthReport.State.OPEN);
-
-    private final GossipConfiguration opening;
-    private final RequestDispatcher relay;
-    private final GossipTransport post;
-    private boolean weigh;
+/**
+ * Gossip in a running dispatcher: publishes the states of its breakers, and tells the policy what other members
+ * suspect. Confined to the I/O thread; not loaded where gossip is off.
+ */
+final class GossipService implements PartitionMembers {
+    private static final Map<Sender.Standing, HealthReport.State> REPORTED_STATES = Map.of(
+            Sender.Standing.CLOSED, HealthReport.State.CLOSED,
+            Sender.Standing.HALF_OPEN, HealthReport.State.HALF_OPEN,
+            Sender.Standing.OPEN, HealthReport.State.OPEN);
 
+    private static final int INCARNATION_RADIX = 36;
+
+    private final IoLoop io;
+    private final RequestDispatcher dispatcher;
+    private final GossipConfiguration configuration;
+    private final GossipTransport transport;
+    private boolean appliesAdvice;
     private boolean left;
 
-    /** Reads key and roster, and binds; faults end the start. */
-    GossipService(IoLoop io, Settings s, RequestDispatcher relay) throws IOException {
-        this.opening = GossipConfiguration.read(s);
-        this.relay = relay;
-        this.weigh = weighs(s);
-        this.post = new GossipTransport(
-                io,
-                opening.place(),
-                opening.keys(),
-                GossipTimings.USUAL,
-                new GossipTransport.Ties(this::own, this::advise, words -> System.err.println("gossip: " + words)));
-        if (!s.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
-            GossipOnlyLease lease = new GossipOnlyLease(
-                    opening.place().name(),
-                    Long.toString(io.clock.wallMs(), 36),
-                    s.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("majority"),
-                    opening.keys().roster().all().size(),
-                    new FaultTestHistory(
-                            Path.of(s.get(SettingKeys.REHEARSAL_HISTORY)),
-                            opening.place().name()));
-            look(io, lease);
+    /**
+     * Reads the key and the roster, and binds.
+     *
+     * @throws IOException if one of them, or the address, can't be used
+     */
+    GossipService(IoLoop io, Settings settings, RequestDispatcher dispatcher) throws IOException {
+        this.io = io;
+        this.dispatcher = dispatcher;
+        this.configuration = GossipConfiguration.read(settings);
+        this.appliesAdvice = appliesAdvice(settings);
+        GossipTransport.Ties callbacks =
+                new GossipTransport.Ties(this::ownReports, this::advise, text -> System.err.println("gossip: " + text));
+        this.transport =
+                new GossipTransport(io, configuration.place(), configuration.keys(), GossipTimings.USUAL, callbacks);
+        if (!settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
+            updateTestLease(testLease(settings));
         }
     }
 
-    /** A rehearsal's lease by what gossip shows alone. */
-    private void look(IoLoop io, GossipOnlyLease lease) {
+    /** A fault test's lease, granted by what gossip shows alone. */
+    private GossipOnlyLease testLease(Settings settings) throws IOException {
+        String name = self();
+        String incarnation = Long.toString(io.clock.wallMs(), INCARNATION_RADIX);
+        boolean needsMajority = settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("majority");
+        int memberCount = configuration.keys().roster().all().size();
+        FaultTestHistory history = new FaultTestHistory(Path.of(settings.get(SettingKeys.REHEARSAL_HISTORY)), name);
+        return new GossipOnlyLease(name, incarnation, needsMajority, memberCount, history);
+    }
+
+    private void updateTestLease(GossipOnlyLease lease) {
         if (!left) {
             lease.look(others(), io.clock.wallMs());
-            io.at(io.clock.now() + GossipOnlyLease.LOOK_NS / 2, () -> look(io, lease));
+            io.at(io.clock.now() + GossipOnlyLease.LOOK_NS / 2, () -> updateTestLease(lease));
         }
     }
 
-    private static boolean weighs(Settings s) {
-        return s.get(SettingKeys.GOSSIP_WEIGH).equals("on");
+    private static boolean appliesAdvice(Settings settings) {
+        return settings.get(SettingKeys.GOSSIP_WEIGH).equals("on");
     }
 
-    private List<GossipAgent.Own> own() {
-        List<GossipAgent.Own> all = new ArrayList<>();
-        relay.forEachBreaker((destination, b) -> all.add(new GossipAgent.Own(
-                destination,
-                STATES.get(b.standing()),
-                (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)),
-                b.calls(),
-                b.failed())));
-        return all;
+    private List<GossipAgent.Own> ownReports() {
+        List<GossipAgent.Own> reports = new ArrayList<>();
+        dispatcher.forEachBreaker((destination, breaker) -> reports.add(ownReport(destination, breaker)));
+        return reports;
     }
 
-    private void advise(long destination, GossipAgent.Word word) {
-        relay.advise(destination, weigh ? word.doubt() : 0, weigh ? word.trying() : 0);
+    private static GossipAgent.Own ownReport(long destination, Sender.Breaker breaker) {
+        long waitMs = Math.max(0, Math.min(Integer.MAX_VALUE, breaker.waitNs() / Clock.MS));
+        return new GossipAgent.Own(
+                destination, REPORTED_STATES.get(breaker.standing()), (int) waitMs, breaker.calls(), breaker.failed());
+    }
+
+    /** What is not applied is taken back: advice of before must not stay. */
+    private void advise(long destination, GossipAgent.Word advice) {
+        dispatcher.advise(destination, appliesAdvice ? advice.doubt() : 0, appliesAdvice ? advice.trying() : 0);
     }
 
     @Override
     public String self() {
-        return opening.place().name();
+        return configuration.place().name();
     }
 
     @Override
     public List<String> present() {
-        List<String> all = new ArrayList<>(others());
-        all.add(self());
-        return all;
+        List<String> present = new ArrayList<>(others());
+        present.add(self());
+        return present;
     }
 
     private List<String> others() {
-        return post.members().stream()
-                .filter(m -> (m.standing() == MemberState.ALIVE || m.standing() == MemberState.SUSPECT)
-                        && !m.member().equals(self()))
+        return transport.members().stream()
+                .filter(member ->
+                        isPresent(member.standing()) && !member.member().equals(self()))
                 .map(MembershipUpdate::member)
                 .toList();
     }
 
+    private static boolean isPresent(MemberState state) {
+        return state == MemberState.ALIVE || state == MemberState.SUSPECT;
+    }
+
     @Override
-    public List<HealthReport> claims(long destination) {
-        return post.claims(destination);
+    public List<HealthReport> reports(long destination) {
+        return transport.claims(destination);
     }
 
-    /** Reads what its settings name; what applies it, whole. */
+    /**
+     * Reads what fresh settings name; the result applies it, on the I/O thread. Gossip that was switched off goes on
+     * until the next start.
+     *
+     * @throws IOException if the roster can't be used
+     */
     Runnable reload(Settings fresh) throws IOException {
-        if (fresh.get(SettingKeys.GOSSIP_LISTEN).equals("off")) { // from the next start; until then it goes on as it is
+        if (fresh.get(SettingKeys.GOSSIP_LISTEN).equals("off")) {
             return () -> {};
         }
-        Roster roster = GossipConfiguration.roster(fresh, opening.place().name(), opening.key());
+        Roster roster = GossipConfiguration.roster(fresh, self(), configuration.key());
         return () -> {
-            weigh = weighs(fresh);
-            post.ceiling(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
-            post.roster(roster);
-            System.err.println("gossip: " + post.counts());
+            appliesAdvice = appliesAdvice(fresh);
+            transport.ceiling(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
+            transport.roster(roster);
+            System.err.println("gossip: " + transport.counts());
         };
     }
 
-    /** Says good-bye to the fleet. */
+    /** Tells the other members that this one leaves, and sends nothing more. */
     void leave() {
         left = true;
-        post.leave();
+        transport.leave();
     }
 }
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -11,7 +11,6 @@
 import elderseam.fleet.lease.LeaseStateMachine;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
-import elderseam.fleet.selftest.FaultTestHistory;
 import elderseam.fleet.selftest.LeaseWorkload;
 import elderseam.frontend.platform.DiscoveryWatcher;
 import elderseam.frontend.platform.EndpointList;
@@ -26,343 +25,352 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Wires the fleet's leases; where they are off this class is not loaded. All of it runs on threads of its own, so that
- * neither the engine's start nor its waiting touches the I/O thread: messages are served while the group has no majority.
+ * The fleet's leases in a running dispatcher: starts the lease group, keeps the member's leases, and connects them to
+ * the tasks that one member does for all. The group starts and is waited for on daemon threads of its own, so requests
+ * are served while it has no majority. Not loaded where leases are off.
+ *
+ * <p>The leased tasks are confined to the I/O thread. {@link #lease}, {@link #isHeldByAnother}, {@link #want} and
+ * {@link #publish} may be called from any thread.
  */
 final class LeaseService {
-    private static final long AGAIN_MS = 250; // another process may have the address and the folder yet
+    /**
+     * What the leased tasks act on.
+     *
+     * @param certificateOrder where one member orders the certificate for all, else null
+     * @param versionReader reads the versions that the fleet agrees on
+     */
+    record Tasks(
+            RequestDispatcher dispatcher,
+            DiscoveryWatcher discovery,
+            EndpointList endpoints,
+            LeasedCertificateOrder certificateOrder,
+            VersionReader versionReader) {}
+
+    /** The process before this one may have the address and the folder yet, and reports to nobody when it has ended. */
+    private static final long START_RETRY_INTERVAL_MS = 250;
+
+    /** For giving leases back; a drain has 3.3 s. */
+    private static final long LEAVE_LIMIT_MS = 1_000;
+
+    private static final long TASK_CHECK_INTERVAL_NS = 250 * Clock.MS;
+
+    /** A holder that has nothing to probe with leaves the lease to others for so many of its terms. */
+    private static final long PROBE_PAUSE_TERMS = 2;
 
-    private static final long LEAVING_MS = 1_000; // of the 3.3 s that a drain has
-    private static final long LOOK_NS = 250 * Clock.MS;
+    private static final String GROUP_DIRECTORY = "fleet";
+    private static final int INCARNATION_RADIX = 36;
 
     private final IoLoop io;
     private final Clock clock;
-    private final LeasedDiscoveryWatch watch; // each null where it is off; both of the I/O thread
-    private final LeasedRecoveryProbe trials;
-    private final LeasedCertificateOrder order;
-    private final VersionService versions;
     private final Settings settings;
-    private final Path folder;
+    private final Path groupDirectory;
     private final long seed;
-    private final FaultTestHistory history; // null but in rehearsals
-    private volatile LeaseGroup group;
-    private volatile LeaseRenewer holder;
+    private final MemberHistory history;
+    private final LeasedDiscoveryWatch discoveryWatch; // null where it is off, as the next three
+    private final LeasedRecoveryProbe recoveryProbe;
+    private final LeasedCertificateOrder certificateOrder;
+    private final VersionService versions;
+    private volatile LeaseGroup group; // null until it has started
+    private volatile LeaseRenewer renewer; // null until the group has started
     private volatile String leader = "";
     private volatile boolean left;
 
-    /** What the tasks act on: the relay's breakers, the watch of discovery, the hosts that it lists, orders or null, and who reads versions. */
-    record Work(
-            RequestDispatcher relay,
-            DiscoveryWatcher discovery,
-            EndpointList hosts,
-            LeasedCertificateOrder order,
-            VersionService.Reader reader) {}
-
-    LeaseService(IoLoop io, Settings settings, Path state, long seed, Work work) throws IOException {
+    /**
+     * Starts the group on a thread of its own, which tries again until it succeeds.
+     *
+     * @param stateDirectory where the dispatcher's state is kept
+     * @param seed spreads this member's requests in time
+     * @throws IOException if a file of the member's own can't be used
+     */
+    LeaseService(IoLoop io, Settings settings, Path stateDirectory, long seed, Tasks tasks) throws IOException {
         this.io = io;
         this.clock = io.clock;
         this.settings = settings;
         this.seed = seed;
-        String told = settings.get(SettingKeys.FLEET_FOLDER), record = settings.get(SettingKeys.REHEARSAL_HISTORY);
-        this.folder = told.isEmpty() ? state.resolve("fleet") : Path.of(told);
-        this.history =
-                record.isEmpty() ? null : new FaultTestHistory(Path.of(record), settings.get(SettingKeys.FLEET_NAME));
-        this.watch = settings.get(SettingKeys.FLEET_DISCOVERY).equals("one")
-                ? new LeasedDiscoveryWatch(clock, work.discovery(), this)
+        String directory = settings.get(SettingKeys.FLEET_FOLDER);
+        this.groupDirectory = directory.isEmpty() ? stateDirectory.resolve(GROUP_DIRECTORY) : Path.of(directory);
+        this.history = MemberHistory.open(settings, clock);
+        this.discoveryWatch = settings.get(SettingKeys.FLEET_DISCOVERY).equals("one")
+                ? new LeasedDiscoveryWatch(clock, tasks.discovery(), this)
                 : null;
-        this.trials = settings.get(SettingKeys.FLEET_TRIALS).equals("one")
-                ? new LeasedRecoveryProbe(
-                        clock, work.relay(), work.hosts(), this, 2 * settings.get(SettingKeys.FLEET_TTL_MS) * Clock.MS)
+        long pauseNs = PROBE_PAUSE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS) * Clock.MS;
+        this.recoveryProbe = settings.get(SettingKeys.FLEET_TRIALS).equals("one")
+                ? new LeasedRecoveryProbe(clock, tasks.dispatcher(), tasks.endpoints(), this, pauseNs)
                 : null;
-        this.order = work.order();
-        if (order != null) {
-            order.joins(this);
+        this.certificateOrder = tasks.certificateOrder();
+        if (certificateOrder != null) {
+            certificateOrder.joined(this);
         }
         this.versions = settings.get(SettingKeys.FLEET_VERSIONS_BOUND_MS) > 0
-                ? new VersionService(io, settings, state, work.reader(), history)
+                ? new VersionService(io, settings, stateDirectory, tasks.versionReader(), history)
                 : null;
-        if (watch != null || trials != null) {
-            io.at(clock.now() + LOOK_NS, this::look);
+        if (discoveryWatch != null || recoveryProbe != null) {
+            io.at(clock.now() + TASK_CHECK_INTERVAL_NS, this::checkTasks);
         }
-        Thread starter = new Thread(this::start, "fleet-start");
-        starter.setDaemon(true);
-        starter.start();
+        startThread("fleet-start", this::start);
     }
 
-    private List<String> leases() {
-        List<String> all = new ArrayList<>(settings.get(SettingKeys.FLEET_LEASES));
-        if (watch != null && !all.contains(LeasedDiscoveryWatch.LEASE)) {
-            all.add(LeasedDiscoveryWatch.LEASE);
-        }
-        if (order != null) {
-            all.add(order.lease());
-        }
-        return all;
+    private static void startThread(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
     }
 
-    private void look() {
+    private void checkTasks() {
         if (left) {
             return;
         }
-        if (watch != null) {
-            watch.look();
+        if (discoveryWatch != null) {
+            discoveryWatch.check();
         }
-        if (trials != null) {
-            trials.look();
+        if (recoveryProbe != null) {
+            recoveryProbe.check();
         }
-        io.at(clock.now() + LOOK_NS, this::look);
+        io.at(clock.now() + TASK_CHECK_INTERVAL_NS, this::checkTasks);
     }
 
     // ---------------------------------------------------------------- for the tasks, on any thread
 
-    /** The tenure by which this member may act on a lease now, or null. */
-    LeaseValidity tenure(String lease) {
-        LeaseValidity t = holder == null ? null : holder.validity(lease).orElse(null);
-        return t != null && t.mayAct(clock.now(), clock.now()) ? t : null;
+    /** The lease by which this member may act now, if it holds that one. */
+    Optional<LeaseValidity> lease(String name) {
+        LeaseRenewer started = renewer;
+        long nowNs = clock.now();
+        return started == null
+                ? Optional.empty()
+                : started.validity(name).filter(validity -> validity.mayAct(nowNs, nowNs));
     }
 
-    /** Whether another member holds it by the group's last word. */
-    boolean another(String lease) {
-        return holder != null && holder.isHeldByAnother(lease);
+    /** Whether another member holds that lease, by the group's last word. */
+    boolean isHeldByAnother(String name) {
+        LeaseRenewer started = renewer;
+        return started != null && started.isHeldByAnother(name);
     }
 
-    void want(String lease, boolean wants) {
-        if (holder != null) {
-            holder.setWanted(lease, wants);
+    /** Acquires and keeps that lease from now on, or gives it back. */
+    void want(String name, boolean wanted) {
+        LeaseRenewer started = renewer;
+        if (started != null) {
+            started.setWanted(name, wanted);
         }
     }
 
-    CompletableFuture<LeaseTable.Outcome> publish(String lease, LeaseValidity by, String value) {
-        return group.publish(lease, by.token(), value);
+    /**
+     * Publishes a value to the group under a lease; the outcome says whether the group accepted it from this holder.
+     */
+    CompletableFuture<LeaseTable.Outcome> publish(String name, LeaseValidity lease, String value) {
+        return group.publish(name, lease.token(), value);
     }
 
+    // ---------------------------------------------------------------- start, on a thread of its own
+
     private void start() {
         while (!left) {
             try {
-                begin();
+                startGroup();
                 return;
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException e) { // of the engine, whatever it may be: another attempt follows
                 System.err.println("fleet: not begun yet: " + e);
-                try {
-                    Thread.sleep(AGAIN_MS); // the process before this one tells nobody when it has ended
-                } catch (InterruptedException ended) {
-                    return;
-                }
+            }
+            try {
+                Thread.sleep(START_RETRY_INTERVAL_MS);
+            } catch (InterruptedException e) {
+                return;
             }
         }
     }
 
-    private void begin() throws IOException {
-        Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
-        settings.get(SettingKeys.FLEET_MEMBERS)
-                .forEach(m -> peers.put(
-                        m.substring(0, m.indexOf('=')),
-                        PlatformConfiguration.address(m.substring(m.indexOf('=') + 1))));
-        String life = Long.toString(clock.wallMs(), 36) + "-"
-                + ProcessHandle.current().pid();
-        LeaseGroup begun = LeaseGroup.start(new LeaseGroupConfiguration(
-                settings.get(SettingKeys.FLEET_GROUP),
-                settings.get(SettingKeys.FLEET_NAME),
-                PlatformConfiguration.address(settings.get(SettingKeys.FLEET_LISTEN)),
-                peers,
-                folder,
-                settings.get(SettingKeys.FLEET_ELECTION_MS),
-                life,
-                clock::now,
-                new Learnt(),
-                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT));
-        group = begun;
+    private void startGroup() throws IOException {
+        LeaseGroup started = LeaseGroup.start(groupConfiguration());
+        group = started;
         if (left) {
-            begun.close();
+            started.close();
             return;
         }
         ClockDriftBound driftBound = new ClockDriftBound(settings.get(SettingKeys.FLEET_DRIFT_PERCENT) / 100.0);
         SplittableRandom random =
                 new SplittableRandom(seed ^ settings.get(SettingKeys.FLEET_NAME).hashCode());
-        holder = new LeaseRenewer(
-                begun, leases(), settings.get(SettingKeys.FLEET_TTL_MS), driftBound, random, clock::now, new Told());
+        renewer = new LeaseRenewer(
+                started,
+                leaseNames(),
+                settings.get(SettingKeys.FLEET_TTL_MS),
+                driftBound,
+                random,
+                clock::now,
+                history.leaseListener(started.holderId()));
         if (versions != null) {
-            versions.joins(begun);
+            versions.groupStarted(started);
         }
-        System.err.println("fleet: " + begun.holderId() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
+        System.err.println("fleet: " + started.holderId() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
         if (!settings.get(SettingKeys.REHEARSAL_STORE).equals("off")) {
-            new LeaseWorkload(
-                    PlatformConfiguration.address(settings.get(SettingKeys.REHEARSAL_STORE)),
-                    begun.holderId(),
-                    settings.get(SettingKeys.FLEET_LEASES),
-                    holder::validity,
-                    settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MS,
-                    clock::now,
-                    history);
+            startTestWorkload(started.holderId());
         }
     }
 
-    /** What the whole group learns, on the engine's threads. */
-    private final class Learnt implements LeaseStateMachine.Listener {
-        @Override
-        public void leaderChanged(String by) {
-            leader = by;
-            System.err.println("fleet: led by " + by);
+    private LeaseGroupConfiguration groupConfiguration() {
+        Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
+        for (String member : settings.get(SettingKeys.FLEET_MEMBERS)) {
+            int separator = member.indexOf('=');
+            peers.put(member.substring(0, separator), PlatformConfiguration.address(member.substring(separator + 1)));
         }
+        String incarnation = Long.toString(clock.wallMs(), INCARNATION_RADIX) + "-"
+                + ProcessHandle.current().pid();
+        return new LeaseGroupConfiguration(
+                settings.get(SettingKeys.FLEET_GROUP),
+                settings.get(SettingKeys.FLEET_NAME),
+                PlatformConfiguration.address(settings.get(SettingKeys.FLEET_LISTEN)),
+                peers,
+                groupDirectory,
+                settings.get(SettingKeys.FLEET_ELECTION_MS),
+                incarnation,
+                clock::now,
+                new GroupListener(),
+                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
+    }
 
-        @Override
-        public void versionsChanged() {
-            if (versions != null) {
-                versions.news();
-            }
-        }
+    /** A fault test's workload: acts on its store while a lease is held. */
+    private void startTestWorkload(String holderName) {
+        new LeaseWorkload(
+                PlatformConfiguration.address(settings.get(SettingKeys.REHEARSAL_STORE)),
+                holderName,
+                settings.get(SettingKeys.FLEET_LEASES),
+                renewer::validity,
+                settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MS,
+                clock::now,
+                history.history());
+    }
 
-        @Override
-        public void released(String lease) {
-            LeaseRenewer h = holder;
-            if (h != null) {
-                h.onReleasedByOther(lease);
-            }
+    private List<String> leaseNames() {
+        List<String> names = new ArrayList<>(settings.get(SettingKeys.FLEET_LEASES));
+        if (discoveryWatch != null && !names.contains(LeasedDiscoveryWatch.LEASE)) {
+            names.add(LeasedDiscoveryWatch.LEASE);
         }
-
-        @Override
-        public void published(String lease, String value) {
-            if (order != null && lease.equals(order.lease())) {
-                order.heard(value);
-                return;
-            }
-            io.run(() -> {
-                if (watch != null && lease.equals(LeasedDiscoveryWatch.LEASE)) {
-                    watch.heard(value);
-                } else if (trials != null) {
-                    trials.heard(lease);
-                }
-            });
+        if (certificateOrder != null) {
+            names.add(certificateOrder.leaseName());
         }
+        return names;
     }
 
-    /** The holder's requests, for the history of a rehearsal. */
-    private final class Told implements LeaseRenewer.Listener {
+    /** What the whole group learns. Called on the engine's threads. */
+    private final class GroupListener implements LeaseStateMachine.Listener {
         @Override
-        public void requested(String lease, LeaseTable.Operation operation, long token) {
-            if (history != null) {
-                history.event("invoke")
-                        .with("op", operation.name())
-                        .with("lease", lease)
-                        .with("token", token)
-                        .with("holder", group.holderId())
-                        .append();
-            }
+        public void leaderChanged(String newLeader) {
+            leader = newLeader;
+            System.err.println("fleet: led by " + newLeader);
         }
 
         @Override
-        public void released(String lease) {
-            if (history != null) {
-                history.event("released")
-                        .with("lease", lease)
-                        .with("holder", group.holderId())
-                        .append();
+        public void versionsChanged() {
+            if (versions != null) {
+                versions.onNews();
             }
         }
 
         @Override
-        public void granted(String lease, LeaseValidity validity) {
-            if (history != null) { // until when it will believe to hold, as the machine's clock will show that instant
-                double rate = settings.get(SettingKeys.REHEARSAL_CLOCK_PERCENT) / 100.0;
-                long at = System.nanoTime();
-                history.eventAt(at, "granted")
-                        .with("lease", lease)
-                        .with("holder", group.holderId())
-                        .with("token", validity.token())
-                        .with("until_ns", at + (long) ((validity.expiresAtNs() - clock.now()) / rate))
-                        .append();
+        public void released(String lease) {
+            LeaseRenewer started = renewer;
+            if (started != null) {
+                started.onReleasedByOther(lease);
             }
         }
 
         @Override
-        public void refused(String lease, LeaseTable.Outcome outcome) {
-            if (history != null) {
-                history.event("refused")
-                        .with("lease", lease)
-                        .with("holder", group.holderId())
-                        .with("by", outcome.holder())
-                        .with("token", outcome.token())
-                        .append();
+        public void published(String lease, String value) {
+            if (certificateOrder != null && lease.equals(certificateOrder.leaseName())) {
+                certificateOrder.onPublished(value);
+            } else {
+                io.run(() -> onTaskPublished(lease, value));
             }
         }
+    }
 
-        @Override
-        public void unanswered(String lease) {
-            if (history != null) {
-                history.event("unknown")
-                        .with("lease", lease)
-                        .with("holder", group.holderId())
-                        .append();
-            }
+    private void onTaskPublished(String lease, String value) {
+        if (discoveryWatch != null && lease.equals(LeasedDiscoveryWatch.LEASE)) {
+            discoveryWatch.onPublished(value);
+        } else if (recoveryProbe != null) {
+            recoveryProbe.onPublished(lease);
         }
     }
 
-    /** The versions that the fleet agrees on, or null. */
-    VersionService versions() {
-        return versions;
+    // ---------------------------------------------------------------- for the dispatcher, on the I/O thread
+
+    /** The versions that the fleet agrees on, where it does. */
+    Optional<VersionService> versions() {
+        return Optional.ofNullable(versions);
     }
 
-    /** What an operator is answered. */
-    CommandResult told(OperatorCommand.Fleet command) {
-        LeaseGroup now = group;
-        if (now == null || holder == null) {
+    /** Answers an operator's FLEET command. */
+    CommandResult answer(OperatorCommand.Fleet command) {
+        LeaseGroup startedGroup = group;
+        LeaseRenewer startedRenewer = renewer;
+        if (startedGroup == null || startedRenewer == null) {
             return CommandResult.no("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
-            now.changeMembers(command.members())
-                    .whenComplete((done, e) -> System.err.println("fleet: members "
-                            + String.join(" ", command.members().keySet())
-                            + (e == null ? " agreed" : ": not agreed: " + e.getMessage())));
-            return CommandResult.yes("asked; FLEET tells when it is so");
+            return changeMembers(startedGroup, command.members());
         }
         try {
-            List<String> lines = new ArrayList<>(List.of(
-                    "self=" + now.holderId(), "leader=" + leader, "members=" + String.join(" ", now.memberNames())));
-            for (String lease : leases()) {
-                LeaseValidity t = holder.validity(lease).orElse(null);
-                boolean holds = t != null && t.mayAct(clock.now(), clock.now());
-                lines.add("lease." + lease + "="
-                        + (holds
-                                ? "held token " + t.token() + " for " + (t.expiresAtNs() - clock.now()) / Clock.MS
-                                        + " ms"
-                                : "not held"));
-            }
-            lines.add("EOF");
-            return new CommandResult(true, "fleet", lines);
+            return new CommandResult(true, "fleet", status(startedGroup, startedRenewer));
         } catch (IOException e) {
             return CommandResult.no("the fleet's engine: " + e.getMessage());
         }
     }
 
-    /** Gives back what it holds, and ends. */
+    private static CommandResult changeMembers(LeaseGroup group, Map<String, InetSocketAddress> members) {
+        String names = String.join(" ", members.keySet());
+        group.changeMembers(members)
+                .whenComplete((done, failure) -> System.err.println("fleet: members " + names
+                        + (failure == null ? " agreed" : ": not agreed: " + failure.getMessage())));
+        return CommandResult.yes("asked; FLEET tells when it is so");
+    }
+
+    private List<String> status(LeaseGroup startedGroup, LeaseRenewer startedRenewer) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add("self=" + startedGroup.holderId());
+        lines.add("leader=" + leader);
+        lines.add("members=" + String.join(" ", startedGroup.memberNames()));
+        for (String name : leaseNames()) {
+            Optional<LeaseValidity> held = lease(name);
+            String state = "not held";
+            if (held.isPresent()) {
+                long remainingMs = (held.get().expiresAtNs() - clock.now()) / Clock.MS;
+                state = "held token " + held.get().token() + " for " + remainingMs + " ms";
+            }
+            lines.add("lease." + name + "=" + state);
+        }
+        lines.add("EOF");
+        return lines;
+    }
+
+    /** Gives back what it holds, and leaves the group, on a thread of its own. */
     void leave() {
         left = true;
         if (versions != null) {
             versions.leave();
         }
-        CompletableFuture<Void> givenBack =
-                holder == null ? CompletableFuture.completedFuture(null) : holder.releaseAllAndStop();
-        Thread end = new Thread(
-                () -> {
-                    try {
-                        givenBack
-                                .exceptionally(e -> null)
-                                .completeOnTimeout(null, LEAVING_MS, TimeUnit.MILLISECONDS)
-                                .join(); // else the others wait for its term
-                        if (group != null) {
-                            group.close();
-                        }
-                    } catch (IOException e) {
-                        System.err.println("fleet: " + e);
-                    }
-                },
-                "fleet-end");
-        end.setDaemon(true);
-        end.start();
+        LeaseRenewer started = renewer;
+        CompletableFuture<Void> released =
+                started == null ? CompletableFuture.completedFuture(null) : started.releaseAllAndStop();
+        startThread("fleet-end", () -> closeGroup(released));
+    }
+
+    /** Waits for the release within limits: without it the other members wait for the end of the leases' terms. */
+    private void closeGroup(CompletableFuture<Void> released) {
+        released.exceptionally(failure -> null)
+                .completeOnTimeout(null, LEAVE_LIMIT_MS, TimeUnit.MILLISECONDS)
+                .join();
+        try {
+            LeaseGroup started = group;
+            if (started != null) {
+                started.close();
+            }
+        } catch (IOException e) {
+            System.err.println("fleet: " + e);
+        }
     }
 }
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -16,88 +16,111 @@
 import java.security.SecureRandom;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /**
- * One member orders the certificate for all, by a lease of its first name; the group's log passes on the answers to the
- * authority's looks, and the certificate with its key, sealed. Asked on the certificates' thread, and told on any.
+ * One member orders the certificate for all, by a lease of the certificate's first name. The lease group's log carries
+ * the answers to the authority's challenges, and the certificate with its key, sealed. {@link SharedCertificateOrder}
+ * is called on the certificates' thread, the rest on any.
  */
 final class LeasedCertificateOrder implements SharedCertificateOrder {
-    private static final String LEASE = "certificate:";
-    private static final long PASS_S = 10, LEAST_PATIENCE_MS = 30_000; // a group that starts has no leader yet
+    /** The lease's name in the group is this and the certificate's first name. */
+    private static final String LEASE_PREFIX = "certificate:";
+
+    private static final long PUBLISH_TIMEOUT_S = 10;
+
+    /** A group that starts has no leader yet. */
+    private static final long MIN_PATIENCE_MS = 30_000;
+
+    private static final long PATIENCE_TERMS = 4;
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** What the group's log holds of it: the sealed certificate, empty before the first, and the answers to looks. */
-    record Passed(
-            @JsonProperty("sealed") String sealed,
-            @JsonProperty("answers") Map<String, String> answers) {}
+    /**
+     * What the holder has published; the property names are part of the group's log.
+     *
+     * @param sealedBundle the sealed certificate and key; empty before the first
+     * @param challengeAnswers the answers to challenges, by token
+     */
+    record Publication(
+            @JsonProperty("sealed") String sealedBundle,
+            @JsonProperty("answers") Map<String, String> challengeAnswers) {}
 
-    private final String lease;
+    private final String leaseName;
     private final SecretSealer seal;
-    private final CertificateOrderTask duty;
-    private volatile LeaseService fleet; // null until it is there
-    private volatile CertificateManager certificates;
-    private volatile Passed newest = new Passed("", Map.of());
-
-    LeasedCertificateOrder(Settings s) throws IOException {
-        this.lease = LEASE + s.get(SettingKeys.ACME_NAMES).get(0);
-        this.seal = SecretSealer.read(Path.of(s.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
-        this.duty = new CertificateOrderTask(Math.max(LEAST_PATIENCE_MS, 4 * s.get(SettingKeys.FLEET_TTL_MS)));
+    private final CertificateOrderTask task;
+    private volatile LeaseService leases; // null until the fleet is joined
+    private volatile CertificateManager certificates; // null until there are any to be served
+    private volatile Publication latest = new Publication("", Map.of());
+
+    /**
+     * Reads the key that seals certificates.
+     *
+     * @throws IOException if it can't be used
+     */
+    LeasedCertificateOrder(Settings settings) throws IOException {
+        this.leaseName = LEASE_PREFIX + settings.get(SettingKeys.ACME_NAMES).get(0);
+        this.seal = SecretSealer.read(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
+        long patienceMs = Math.max(MIN_PATIENCE_MS, PATIENCE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS));
+        this.task = new CertificateOrderTask(patienceMs);
     }
 
-    String lease() {
-        return lease;
+    /** The lease's name in the group. */
+    String leaseName() {
+        return leaseName;
     }
 
-    void serves(CertificateManager certificates) {
+    /** The certificates that are served here get what another member has ordered. */
+    void servedBy(CertificateManager certificates) {
         this.certificates = certificates;
     }
 
-    void joins(LeaseService fleet) {
-        this.fleet = fleet;
+    /** The fleet is joined. */
+    void joined(LeaseService leases) {
+        this.leases = leases;
     }
 
-    private LeaseValidity tenure() {
-        LeaseService f = fleet;
-        return f == null ? null : f.tenure(lease);
+    private Optional<LeaseValidity> lease() {
+        LeaseService joined = leases;
+        return joined == null ? Optional.empty() : joined.lease(leaseName);
     }
 
     @Override
     public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
-        LeaseService f = fleet;
-        boolean mine = duty.isOrderedHere(
-                now.toEpochMilli(),
-                lastAt.toEpochMilli(),
-                LeaseOwner.of(tenure() != null, f != null && f.another(lease)));
-        if (mine) {
+        LeaseService joined = leases;
+        boolean heldByAnother = joined != null && joined.isHeldByAnother(leaseName);
+        LeaseOwner owner = LeaseOwner.of(lease().isPresent(), heldByAnother);
+        boolean orders = task.isOrderedHere(now.toEpochMilli(), lastAt.toEpochMilli(), owner);
+        if (orders) {
             System.err.println(
-                    "fleet: orders the certificate" + (tenure() == null ? " by itself: nobody else has" : ""));
+                    "fleet: orders the certificate" + (lease().isEmpty() ? " by itself: nobody else has" : ""));
         }
-        return mine;
+        return orders;
     }
 
     @Override
     public void challenges(Map<String, String> answers) {
-        publish(new Passed(newest.sealed(), Map.copyOf(answers)));
+        publish(new Publication(latest.sealedBundle(), Map.copyOf(answers)));
     }
 
     @Override
     public boolean pass(byte[] bundle) {
-        return publish(new Passed(seal.close(bundle, lease), Map.of()));
+        return publish(new Publication(seal.close(bundle, leaseName), Map.of()));
     }
 
-    /** Whether the group took it from this member as the holder. */
-    private boolean publish(Passed passed) {
-        LeaseValidity t = tenure();
-        if (t == null) {
+    /** Whether the group accepted it from this member as the holder. */
+    private boolean publish(Publication publication) {
+        Optional<LeaseValidity> lease = lease();
+        if (lease.isEmpty()) {
             return false;
         }
         try {
-            LeaseTable.Outcome o =
-                    fleet.publish(lease, t, JSON.writeValueAsString(passed)).get(PASS_S, TimeUnit.SECONDS);
-            return o.granted();
+            String value = JSON.writeValueAsString(publication);
+            LeaseTable.Outcome outcome =
+                    leases.publish(leaseName, lease.get(), value).get(PUBLISH_TIMEOUT_S, TimeUnit.SECONDS);
+            return outcome.granted();
         } catch (ExecutionException | TimeoutException | IOException | IllegalArgumentException e) {
             System.err.println("fleet: the certificate is not passed on: " + e.getMessage());
             return false;
@@ -107,15 +130,16 @@
         }
     }
 
-    /** What the holder has passed on, this member's own words among it. */
-    void heard(String value) {
+    /** The holder has published; this member's own publications come here too. */
+    void onPublished(String value) {
         try {
-            Passed passed = JSON.readValue(value, Passed.class);
-            boolean fresh = !passed.sealed().isEmpty() && !passed.sealed().equals(newest.sealed());
-            newest = passed;
-            CertificateManager c = certificates;
-            if (c != null) {
-                c.heard(passed.answers(), fresh ? seal.open(passed.sealed(), lease) : null);
+            Publication publication = JSON.readValue(value, Publication.class);
+            String sealedBundle = publication.sealedBundle();
+            boolean isNew = !sealedBundle.isEmpty() && !sealedBundle.equals(latest.sealedBundle());
+            latest = publication;
+            CertificateManager served = certificates;
+            if (served != null) {
+                served.heard(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
             }
         } catch (IOException e) {
             System.err.println("fleet: a certificate that was passed on can't be used: " + e.getMessage());
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -8,56 +8,74 @@
 import elderseam.frontend.platform.DiscoveryWatcher;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
-/** One member watches discovery for all, by the lease {@link #LEASE}; of the I/O thread. */
+/**
+ * One member watches discovery for all: the holder of {@link #LEASE} publishes the endpoint list, the others take it
+ * from there. Confined to the I/O thread.
+ */
 final class LeasedDiscoveryWatch {
+    /** The lease's name in the group. */
     static final String LEASE = "discovery";
 
+    /** Without news of the holder for this long each member watches for itself. */
+    private static final long STALE_AFTER_NS = 2 * DiscoveryWatcher.longestNs();
+
     private final Clock clock;
     private final DiscoveryWatcher discovery;
-    private final LeaseService fleet;
-    private final LeasedTask duty = new LeasedTask(2 * DiscoveryWatcher.longestNs());
+    private final LeaseService leases;
+    private final LeasedTask task = new LeasedTask(STALE_AFTER_NS);
     private boolean watches = true;
-    private JsonValue latest; // published by whoever watches
+    private JsonValue latestList; // as the holder published it; null before
 
-    LeasedDiscoveryWatch(Clock clock, DiscoveryWatcher discovery, LeaseService fleet) {
+    LeasedDiscoveryWatch(Clock clock, DiscoveryWatcher discovery, LeaseService leases) {
         this.clock = clock;
         this.discovery = discovery;
-        this.fleet = fleet;
-        discovery.onAnswer(this::pass);
+        this.leases = leases;
+        discovery.onAnswer(this::publish);
     }
 
-    /** Discovery has answered: the holder passes on what it knows. A list too long to pass on leaves each member to its own watch. */
-    private void pass() {
-        LeaseValidity t = fleet.tenure(LEASE);
-        String list = t == null ? "" : discovery.list();
-        if (t != null && list.length() <= LeaseTable.MAX_VALUE_CHARS) {
-            fleet.publish(LEASE, t, list);
+    /**
+     * Discovery has answered: the holder publishes the list. One that is too long leaves each member to its own watch.
+     */
+    private void publish() {
+        Optional<LeaseValidity> lease = leases.lease(LEASE);
+        if (lease.isEmpty()) {
+            return;
+        }
+        String list = discovery.list();
+        if (list.length() <= LeaseTable.MAX_VALUE_CHARS) {
+            leases.publish(LEASE, lease.get(), list);
         }
     }
 
-    void heard(String list) {
+    /** The holder has published a list, in discovery's format. */
+    void onPublished(String list) {
         try {
-            latest = JsonValue.read(list.getBytes(StandardCharsets.UTF_8));
+            latestList = JsonValue.read(list.getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
             System.err.println("fleet: a list that can't be read: " + e.getMessage());
             return;
         }
-        duty.onPublished(clock.now());
-        discovery.heard(latest);
+        task.onPublished(clock.now());
+        discovery.heard(latestList);
     }
 
-    void look() {
-        boolean own = duty.isPerformedHere(clock.now(), fleet.tenure(LEASE) != null);
-        if (own != watches) {
-            watches = own;
-            System.err.println("fleet: " + (own ? "watches discovery" : "another watches discovery"));
-            if (own) {
-                discovery.resume();
-            } else {
-                discovery.passOn();
-                discovery.heard(latest);
-            }
+    /** Begins or ends this member's own watch. */
+    void check() {
+        boolean shouldWatch =
+                task.isPerformedHere(clock.now(), leases.lease(LEASE).isPresent());
+        if (shouldWatch == watches) {
+            return;
+        }
+        watches = shouldWatch;
+        if (watches) {
+            System.err.println("fleet: watches discovery");
+            discovery.resume();
+        } else {
+            System.err.println("fleet: another watches discovery");
+            discovery.passOn();
+            discovery.heard(latestList);
         }
     }
 }
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -10,61 +10,80 @@
 import elderseam.policy.Sender;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * One member tries a destination whose breakers are open, by a lease of the destination's own; of the I/O thread. The module
- * still decides when its trial is due and what comes of it: one that is left to another is put off as a told wait puts it off.
+ * One member probes a destination whose circuit breakers are open, by a lease of the destination's own. The policy
+ * still decides when its probe is due and what comes of it: a probe that is left to another member is put off like one
+ * that a Retry-After delays. Confined to the I/O thread.
  */
 final class LeasedRecoveryProbe {
-    private static final String LEASE = "trial:";
-    private static final long DEFER_NS = 500 * Clock.MS; // two looks: the next one comes in time
-    private static final long IDLE_NS = 2_000 * Clock.MS;
+    /** The lease's name in the group is this and the destination's number. */
+    private static final String LEASE_PREFIX = "trial:";
+
+    /** What the holder publishes once the destination has recovered. */
+    private static final String RECOVERED = "back";
+
+    /** A probe is put off for two checks, so the next one comes in time. */
+    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MS;
+
+    /** A holder may be ready for a probe for so long without an outcome. */
+    private static final long IDLE_LIMIT_NS = 2_000 * Clock.MS;
 
     private final Clock clock;
-    private final RequestDispatcher relay;
-    private final EndpointList hosts;
-    private final LeaseService fleet;
+    private final RequestDispatcher dispatcher;
+    private final EndpointList endpoints;
+    private final LeaseService leases;
     private final long pauseNs;
-    private final Map<Long, RecoveryProbeTask> duties = new HashMap<>(); // of destinations that were not closed lately
 
-    /** {@code pauseNs}: how long a holder that has nothing to try with leaves the lease to others. */
-    LeasedRecoveryProbe(Clock clock, RequestDispatcher relay, EndpointList hosts, LeaseService fleet, long pauseNs) {
+    /** Of destinations whose breakers were not closed lately. */
+    private final Map<Long, RecoveryProbeTask> probesByDestination = new HashMap<>();
+
+    /**
+     * Probes from the first {@link #check} on.
+     *
+     * @param pauseNs how long a holder that has nothing to probe with leaves the lease to others
+     */
+    LeasedRecoveryProbe(
+            Clock clock, RequestDispatcher dispatcher, EndpointList endpoints, LeaseService leases, long pauseNs) {
         this.clock = clock;
-        this.relay = relay;
-        this.hosts = hosts;
-        this.fleet = fleet;
+        this.dispatcher = dispatcher;
+        this.endpoints = endpoints;
+        this.leases = leases;
         this.pauseNs = pauseNs;
     }
 
-    void look() {
-        relay.forEachBreaker(this::look);
+    /** Decides for each destination whether this member probes it. */
+    void check() {
+        dispatcher.forEachBreaker(this::check);
     }
 
-    private void look(long destination, Sender.Breaker breaker) {
+    private void check(long destination, Sender.Breaker breaker) {
         boolean closed = breaker.standing() == Sender.Standing.CLOSED;
-        RecoveryProbeTask duty = closed
-                ? duties.get(destination)
-                : duties.computeIfAbsent(destination, d -> new RecoveryProbeTask(IDLE_NS, pauseNs));
-        if (duty == null) {
+        RecoveryProbeTask probe = closed
+                ? probesByDestination.get(destination)
+                : probesByDestination.computeIfAbsent(destination, d -> new RecoveryProbeTask(IDLE_LIMIT_NS, pauseNs));
+        if (probe == null) {
             return;
         }
-        String lease = LEASE + destination;
-        LeaseValidity held = fleet.tenure(lease);
-        RecoveryProbeTask.Decision turn = duty.decide(
-                clock.now(), standing(breaker.standing()), LeaseOwner.of(held != null, fleet.another(lease)));
-        if (turn.publishesRecovery()) {
-            fleet.publish(lease, held, "back");
+        String leaseName = LEASE_PREFIX + destination;
+        Optional<LeaseValidity> lease = leases.lease(leaseName);
+        BreakerState state = state(breaker.standing());
+        RecoveryProbeTask.Decision decision =
+                probe.decide(clock.now(), state, LeaseOwner.of(lease.isPresent(), leases.isHeldByAnother(leaseName)));
+        if (decision.publishesRecovery()) {
+            leases.publish(leaseName, lease.orElseThrow(), RECOVERED);
         }
-        fleet.want(lease, turn.wantsLease());
-        if (turn.defersProbe()) {
-            relay.defer(hosts.of(destination), DEFER_NS);
+        leases.want(leaseName, decision.wantsLease());
+        if (decision.defersProbe()) {
+            dispatcher.defer(endpoints.of(destination), PROBE_DEFERRAL_NS);
         }
-        if (closed && !turn.wantsLease()) {
-            duties.remove(destination);
+        if (closed && !decision.wantsLease()) {
+            probesByDestination.remove(destination);
         }
     }
 
-    private static BreakerState standing(Sender.Standing own) {
+    private static BreakerState state(Sender.Standing own) {
         return switch (own) {
             case CLOSED -> BreakerState.CLOSED;
             case HALF_OPEN -> BreakerState.HALF_OPEN;
@@ -72,12 +91,14 @@
         };
     }
 
-    /** The holder of that lease says that its destination is back. */
-    void heard(String lease) {
-        RecoveryProbeTask duty =
-                lease.startsWith(LEASE) ? duties.get(Long.parseLong(lease.substring(LEASE.length()))) : null;
-        if (duty != null) {
-            duty.onRecoveryPublished();
+    /** The holder of that lease reports that its destination has recovered. */
+    void onPublished(String leaseName) {
+        if (!leaseName.startsWith(LEASE_PREFIX)) {
+            return;
+        }
+        RecoveryProbeTask probe = probesByDestination.get(Long.parseLong(leaseName.substring(LEASE_PREFIX.length())));
+        if (probe != null) {
+            probe.onRecoveryPublished();
         }
     }
 }
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -16,45 +16,55 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
- * What can change while a dispatcher runs, by SIGHUP or by a version that the fleet agrees on: discovery's place, the rules, gossip's
- * roster. It is read whole before any of it counts, on whatever thread; what it gives is run on the I/O thread.
+ * The part of the configuration that changes while a dispatcher runs, by SIGHUP or by a version that the fleet agreed
+ * on: the address of discovery, the rules, the gossip roster. It is read and checked completely on whatever thread
+ * asks; what a reading returns makes it effective, on the I/O thread, to which everything else here is confined.
  */
-final class LiveConfiguration {
-    /** The operator's rules: none of their classes is loaded while they are off. */
-    interface Rules extends AdmissionRules {
+final class LiveConfiguration implements VersionReader {
+    /** The operator's rules; none of their classes is loaded while there are none. */
+    interface ReloadableRules extends AdmissionRules {
+        /** Reads the rules that fresh settings name; the result applies them, on the I/O thread. */
         Runnable reload(Settings fresh) throws IOException;
     }
 
     /** What the rules act on. */
-    record Ties(IoLoop io, RequestDispatcher relay, Journal journal) {}
+    record RuleTargets(IoLoop io, RequestDispatcher dispatcher, Journal journal) {}
 
-    private final Ties ties;
+    private final RuleTargets ruleTargets;
     private final PlatformConfiguration config;
-    private final Settings settings;
-    private final Path file;
-    private PlatformConfiguration moved; // as SIGHUP read it last
-    private volatile Rules rules; // null while there are none
-    private PlatformFrontend front;
-    private CloudEventsSetup second; // null while it is off
+    private final Settings startSettings;
+    private final Path settingsFile;
+    private PlatformConfiguration latestConfig; // as the last reload read it
+    private volatile ReloadableRules rules; // null while there are none
+    private PlatformFrontend frontend;
+    private CloudEventsSetup cloudEvents; // null while it is off
     private DiscoveryWatcher discovery;
-    private FleetServices neighbours; // null while they are made
-
-    /** {@code settings}: those of the start, from {@code file}. */
-    LiveConfiguration(Ties ties, PlatformConfiguration config, Settings settings, Path file) throws IOException {
-        this.ties = ties;
+    private FleetServices fleet; // null until it has joined
+
+    /**
+     * Reads the rules of the start.
+     *
+     * @param startSettings the operator's settings at the start, from {@code settingsFile}
+     * @throws IOException if the rules can't be used
+     */
+    LiveConfiguration(RuleTargets ruleTargets, PlatformConfiguration config, Settings startSettings, Path settingsFile)
+            throws IOException {
+        this.ruleTargets = ruleTargets;
         this.config = config;
-        this.settings = settings;
-        this.file = file;
-        this.moved = config;
-        boolean ruled = !settings.get(SettingKeys.RULES_FILES).isEmpty()
-                || !ties.journal.keySchemes().isEmpty();
-        rules = ruled ? rules(RulesSetup.load(config.settings(), settings)) : null;
+        this.startSettings = startSettings;
+        this.settingsFile = settingsFile;
+        this.latestConfig = config;
+        boolean hasRules = !startSettings.get(SettingKeys.RULES_FILES).isEmpty()
+                || !ruleTargets.journal().keySchemes().isEmpty();
+        rules = hasRules ? createRules(RulesSetup.load(config.settings(), startSettings)) : null;
     }
 
-    private Rules rules(RuleLoader.Loaded loaded) throws IOException {
-        return new RulesSetup(ties.io, config.settings(), loaded, ties.relay, ties.journal);
+    private ReloadableRules createRules(Optional<RuleLoader.Loaded> loaded) throws IOException {
+        return new RulesSetup(
+                ruleTargets.io(), config.settings(), loaded, ruleTargets.dispatcher(), ruleTargets.journal());
     }
 
     /** The rules of the start, or null. */
@@ -62,94 +72,114 @@
         return rules;
     }
 
-    /** Whom it changes; {@code second} may be null. Before the neighbours are made: they may begin with a version. */
-    void of(PlatformFrontend front, CloudEventsSetup second, DiscoveryWatcher discovery) {
-        this.front = front;
-        this.second = second;
+    /**
+     * What changes are applied to; {@code cloudEvents} may be null. Before the fleet is joined, which may begin with a
+     * version.
+     */
+    void attach(PlatformFrontend frontend, CloudEventsSetup cloudEvents, DiscoveryWatcher discovery) {
+        this.frontend = frontend;
+        this.cloudEvents = cloudEvents;
         this.discovery = discovery;
     }
 
-    void of(FleetServices neighbours) {
-        this.neighbours = neighbours;
-        guard();
+    /** The fleet whose versions count, once it has joined. */
+    void attach(FleetServices fleet) {
+        this.fleet = fleet;
+        guardRules();
     }
 
-    /** Where discovery is by these settings, or by the platform's word. */
-    EndpointAddress discovery(Settings told) {
-        String agreed = told.get(SettingKeys.DISCOVERY_ADDRESS);
-        return new EndpointAddress("discovery", agreed.isEmpty() ? moved.discovery() : agreed);
+    /** Where discovery is by these settings, or else by the platform's configuration. */
+    EndpointAddress discoveryAddress(Settings settings) {
+        String configured = settings.get(SettingKeys.DISCOVERY_ADDRESS);
+        return new EndpointAddress("discovery", configured.isEmpty() ? latestConfig.discovery() : configured);
     }
 
-    /** By SIGHUP; a version that the fleet agrees on outranks the own files. */
-    Runnable hangUp(Map<String, String> variables) throws IOException {
-        PlatformConfiguration fresh = PlatformConfiguration.read(variables);
-        VersionService versions = neighbours.versions();
-        boolean agreed = versions != null && versions.acting().number() > 0;
-        Settings told = OperatorSettings.settings(file), counts = agreed ? merged(versions.texts()) : told;
-        Runnable rest = neighbours.reload(told), ruling = agreed ? () -> {} : ruling(told);
-        List<String> later = settings.changed(told, SettingKeys.ALL, false);
+    /**
+     * Reads the configuration again, on SIGHUP. A version that the fleet agreed on outranks this member's own files.
+     */
+    Runnable reload(Map<String, String> variables) throws IOException {
+        PlatformConfiguration freshConfig = PlatformConfiguration.read(variables);
+        Optional<VersionService> versions = fleet.versions();
+        boolean versionActive = versions.isPresent() && versions.get().active().number() > 0;
+        Settings own = OperatorSettings.settings(settingsFile);
+        Settings effective = versionActive ? merged(versions.get().activeTexts()) : own;
+        Runnable applyFleet = fleet.reload(own);
+        Runnable applyRules = versionActive ? () -> {} : readRules(own);
+        List<String> needRestart = startSettings.changed(own, SettingKeys.ALL, false);
         return () -> {
-            moved = fresh;
-            move(counts);
-            rest.run();
-            ruling.run();
+            latestConfig = freshConfig;
+            moveDiscovery(effective);
+            applyFleet.run();
+            applyRules.run();
             System.err.println("configuration read again, discovery at "
-                    + discovery(counts).address()
-                    + (later.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", later)));
+                    + discoveryAddress(effective).address()
+                    + (needRestart.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", needRestart)));
         };
     }
 
-    /** By a version, whose texts lie there as files, or by the own settings (null). */
-    Runnable version(Path texts) throws IOException {
-        Settings told = texts == null ? OperatorSettings.settings(file) : merged(texts);
-        Runnable ruling = ruling(told);
+    @Override
+    public Runnable readVersion(Path directory) throws IOException {
+        return read(merged(directory));
+    }
+
+    @Override
+    public Runnable readOwnSettings() throws IOException {
+        return read(OperatorSettings.settings(settingsFile));
+    }
+
+    private Runnable read(Settings settings) throws IOException {
+        Runnable applyRules = readRules(settings);
         return () -> {
-            move(told);
-            ruling.run();
+            moveDiscovery(settings);
+            applyRules.run();
         };
     }
 
-    private Settings merged(Path texts) throws IOException {
-        return Settings.read(VersionContent.mergeSettings(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+    private Settings merged(Path versionDirectory) throws IOException {
+        Path merged = VersionContent.mergeSettings(settingsFile, versionDirectory);
+        return Settings.read(merged, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
-    private void move(Settings told) {
-        discovery.move(discovery(told));
-        front.move(discovery(told));
+    private void moveDiscovery(Settings settings) {
+        EndpointAddress address = discoveryAddress(settings);
+        discovery.move(address);
+        frontend.move(address);
     }
 
-    /** Before the rules, where there are versions: whether they may be acted on. */
-    private void guard() {
-        VersionService versions = neighbours == null ? null : neighbours.versions();
-        if (versions != null) {
-            rulings(versions.guard(rules, ties.relay::isKnown));
+    /** Where there are versions, puts their check before the rules: whether this member may act on them. */
+    private void guardRules() {
+        Optional<VersionService> versions = fleet == null ? Optional.empty() : fleet.versions();
+        if (versions.isPresent()) {
+            useRules(versions.get().guard(rules, ruleTargets.dispatcher()::isKnown));
         }
     }
 
-    private void rulings(AdmissionRules by) {
-        front.rulings(by);
-        if (second != null) {
-            second.rulings(by);
+    private void useRules(AdmissionRules effective) {
+        frontend.rulings(effective);
+        if (cloudEvents != null) {
+            cloudEvents.rulings(effective);
         }
     }
 
-    /** What applies the rules, which may be the first. */
-    private Runnable ruling(Settings told) throws IOException {
+    /** Reads the rules, which may be the first; the result applies them. */
+    private Runnable readRules(Settings settings) throws IOException {
         if (rules != null) {
-            return rules.reload(told);
+            return rules.reload(settings);
         }
-        if (told.get(SettingKeys.RULES_FILES).isEmpty()) {
+        if (settings.get(SettingKeys.RULES_FILES).isEmpty()) {
             return () -> {};
         }
-        var loaded = RulesSetup.load(config.settings(), told);
-        return () -> {
-            try {
-                rules = rules(loaded);
-                rulings(rules);
-                guard();
-            } catch (IOException e) {
-                System.err.println("rules: not taken: " + e.getMessage());
-            }
-        };
+        Optional<RuleLoader.Loaded> loaded = RulesSetup.load(config.settings(), settings);
+        return () -> applyFirstRules(loaded);
+    }
+
+    private void applyFirstRules(Optional<RuleLoader.Loaded> loaded) {
+        try {
+            rules = createRules(loaded);
+            useRules(rules);
+            guardRules();
+        } catch (IOException e) {
+            System.err.println("rules: not taken: " + e.getMessage());
+        }
     }
 }
--- a/src/main/java/elderseam/app/OperatorSettings.java
+++ b/src/main/java/elderseam/app/OperatorSettings.java
@@ -7,31 +7,41 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** The operator's file, or one of before: {@code .properties} held the events' settings alone. */
+/**
+ * Reads the operator's settings file. A {@code .properties} file is of an earlier release, and holds the settings of
+ * the CloudEvents frontend alone.
+ */
 final class OperatorSettings {
-    /** What it says: the second front's settings, and all of them. */
-    record Read(EventConfiguration events, Settings settings) {}
+    private static final String LEGACY_SUFFIX = ".properties";
+
+    /** A file's settings: those of the CloudEvents frontend, and all of them (none, for a legacy file). */
+    record Loaded(EventConfiguration cloudEvents, Settings settings) {}
 
     private OperatorSettings() {}
 
-    static Read read(Path file) throws IOException {
-        if (old(file)) {
+    /** Reads the file of either format; an IOException (a SettingsFault for its content) says what is wrong with it. */
+    static Loaded load(Path file) throws IOException {
+        if (isLegacy(file)) {
             System.err.println(file + ": an events' file of before, its settings are read; " + SettingKeys.FILE
                     + " has taken its place");
-            return new Read(EventConfiguration.old(file), Settings.none());
+            return new Loaded(EventConfiguration.old(file), Settings.none());
         }
         Settings settings = settings(file);
-        return new Read(EventConfiguration.of(settings), settings);
+        return new Loaded(EventConfiguration.of(settings), settings);
     }
 
-    /** A file that was not asked for may be absent; one of before tells nothing that could be read again. */
+    /**
+     * The settings; none where the default file is absent, or for a legacy file, of which nothing can be read again.
+     */
     static Settings settings(Path file) throws IOException {
-        return old(file) || file.equals(Path.of(SettingKeys.FILE)) && !Files.exists(file)
-                ? Settings.none()
-                : Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        boolean absentDefault = file.equals(Path.of(SettingKeys.FILE)) && !Files.exists(file);
+        if (isLegacy(file) || absentDefault) {
+            return Settings.none();
+        }
+        return Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
-    private static boolean old(Path file) {
-        return file.toString().endsWith(".properties");
+    private static boolean isLegacy(Path file) {
+        return file.toString().endsWith(LEGACY_SUFFIX);
     }
 }
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -9,81 +9,118 @@
 import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
-/** How a process comes to own the folder: at once, or from an older process that still serves. On the starting thread, which may wait. */
+/**
+ * How a starting process comes to own the state directory: at once where nobody does, or from an older process that
+ * still serves, as {@link HandoverReceiver} decides. Used on the starting thread, which it blocks.
+ */
 final class OwnershipAcquisition {
-    /** The folder is this process's; {@code link} and {@code given}: from an older one, else null. */
-    record Won(OwnershipLock owner, HandoverChannel link, HandoverFrame.Give given) {}
+    /** The directory is this process's. */
+    sealed interface Ownership {
+        /** Held. */
+        OwnershipLock lock();
+    }
+
+    /** There was no older process: what one left is recovered from the journal. */
+    record Recovery(OwnershipLock lock) implements Ownership {}
+
+    /** An older process sent its state, and still has the attempts that were in flight. */
+    record Takeover(OwnershipLock lock, HandoverChannel channel, HandoverFrame.StateTransfer state)
+            implements Ownership {}
+
+    /** With an owner that neither ends nor answers. */
+    private static final long SEARCH_LIMIT_NS = 10_000 * Clock.MS;
+
+    private static final long SEARCH_INTERVAL_MS = 20;
+
+    /** The older process released the lock before it sent its state, so this is for a slow machine alone. */
+    private static final long LOCK_LIMIT_NS = 500 * Clock.MS;
 
-    private static final long PATIENCE_NS = 10_000 * Clock.MS; // with an owner that neither ends nor answers
-    private static final long LOCK_NS = 500 * Clock.MS; // the older one let go before it told
-    private static final long AGAIN_MS = 20;
+    private static final long LOCK_INTERVAL_MS = 1;
 
     private final IoLoop io;
     private final PlatformConfiguration config;
-    private final Path folder;
-    private final OwnershipLock owner;
-    private final HandoverReceiver taking = new HandoverReceiver();
+    private final Path stateDirectory;
+    private final OwnershipLock lock;
+    private final HandoverReceiver receiver = new HandoverReceiver();
 
     private OwnershipAcquisition(IoLoop io, PlatformConfiguration config) throws IOException {
         this.io = io;
         this.config = config;
-        this.folder = config.state();
-        this.owner = new OwnershipLock(folder);
+        this.stateDirectory = config.state();
+        this.lock = new OwnershipLock(stateDirectory);
     }
 
-    static Won seek(IoLoop io, PlatformConfiguration config) throws IOException {
+    /**
+     * Waits until this process owns the state directory.
+     *
+     * @throws IOException if another process keeps it, or the directory can't be used
+     */
+    static Ownership acquire(IoLoop io, PlatformConfiguration config) throws IOException {
         try {
-            return new OwnershipAcquisition(io, config).seek();
+            return new OwnershipAcquisition(io, config).search();
         } catch (InterruptedException e) {
             throw new IOException("interrupted at the start", e);
         }
     }
 
-    private Won seek() throws IOException, InterruptedException {
-        for (long last = io.clock.now() + PATIENCE_NS; io.clock.now() < last; ) {
-            HandoverChannel link = HandoverChannel.possible(folder) ? HandoverChannel.connect(folder) : null;
-            switch (taking.looked(link != null, link == null && owner.take())) {
+    private Ownership search() throws IOException, InterruptedException {
+        long deadlineNs = io.clock.now() + SEARCH_LIMIT_NS;
+        while (io.clock.now() < deadlineNs) {
+            Optional<HandoverChannel> channel = HandoverChannel.connect(stateDirectory);
+            boolean locked = channel.isEmpty() && lock.tryAcquire();
+            switch (receiver.onSearched(channel.isPresent(), locked)) {
                 case RECOVER -> {
-                    return new Won(owner, null, null);
+                    return new Recovery(lock);
                 }
-                case WARM -> {
-                    Won won = beside(link);
-                    if (won != null) {
-                        return won;
+                case WARM_UP -> {
+                    Optional<Takeover> takeover = takeOver(channel.orElseThrow());
+                    if (takeover.isPresent()) {
+                        return takeover.get();
                     }
-                    last = io.clock.now() + PATIENCE_NS;
+                    deadlineNs = io.clock.now() + SEARCH_LIMIT_NS;
                 }
-                default -> Thread.sleep(AGAIN_MS);
+                default -> Thread.sleep(SEARCH_INTERVAL_MS);
             }
         }
-        throw new IOException("another process owns " + folder + ", and neither ends nor passes on");
+        throw new IOException("another process owns " + stateDirectory + ", and neither ends nor passes on");
     }
 
-    /** Null where the older process has gone or kept its work. */
-    private Won beside(HandoverChannel link) throws IOException, InterruptedException {
-        System.err.println("another process serves; warming up beside it");
-        CountDownLatch warm = new CountDownLatch(1);
-        io.run(() -> StandbyWarmup.warm(io, config, warm::countDown));
-        warm.await();
-        if (taking.warm() == HandoverReceiver.Step.ASK) {
-            link.send(new HandoverFrame.Take());
+    /** Empty where the older process has gone, or kept its work. */
+    private Optional<Takeover> takeOver(HandoverChannel channel) throws IOException, InterruptedException {
+        warmUp();
+        if (receiver.onWarmedUp() == HandoverReceiver.Action.REQUEST) {
+            channel.send(new HandoverFrame.TransferRequest());
         }
-        HandoverFrame frame = link.await();
-        if (!(frame instanceof HandoverFrame.Give given)) {
-            link.close();
-            taking.lost();
-            return null;
+        Optional<HandoverFrame> answer = channel.receive();
+        if (answer.isEmpty() || !(answer.get() instanceof HandoverFrame.StateTransfer state)) {
+            channel.close();
+            receiver.onChannelClosed();
+            return Optional.empty();
         }
-        boolean locked = owner.take();
-        for (long last = io.clock.now() + LOCK_NS; !locked && io.clock.now() < last; locked = owner.take()) {
-            Thread.sleep(1);
+        if (receiver.onStateReceived(awaitLock()) != HandoverReceiver.Action.TAKE_OVER) {
+            channel.close(); // the older process sees it and resumes
+            return Optional.empty();
         }
-        if (taking.given(locked) != HandoverReceiver.Step.TAKE) {
-            link.close(); // so the older one has its work back
-            return null;
+        return Optional.of(new Takeover(lock, channel, state));
+    }
+
+    private void warmUp() throws InterruptedException {
+        System.err.println("another process serves; warming up beside it");
+        CountDownLatch warmedUp = new CountDownLatch(1);
+        io.run(() -> StandbyWarmup.run(io, config, warmedUp::countDown));
+        warmedUp.await();
+    }
+
+    private boolean awaitLock() throws IOException, InterruptedException {
+        boolean locked = lock.tryAcquire();
+        long deadlineNs = io.clock.now() + LOCK_LIMIT_NS;
+        while (!locked && io.clock.now() < deadlineNs) {
+            Thread.sleep(LOCK_INTERVAL_MS);
+            locked = lock.tryAcquire();
         }
-        return new Won(owner, link, given);
+        return locked;
     }
 }
--- a/src/main/java/elderseam/app/OwnershipTransfer.java
+++ b/src/main/java/elderseam/app/OwnershipTransfer.java
@@ -4,143 +4,177 @@
 import elderseam.core.Handover;
 import elderseam.handover.HandoverChannel;
 import elderseam.handover.HandoverFrame;
+import elderseam.handover.HandoverListener;
 import elderseam.handover.HandoverSender;
 import elderseam.handover.OwnershipLock;
 import elderseam.http.IoLoop;
 import java.io.IOException;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-/** Passes the work of an owner on to a newer process that asks for it, as {@link HandoverSender} decides; on the I/O thread. */
+/**
+ * The older process's side of an upgrade: transfers its work to a newer process that asks for it, as {@link
+ * HandoverSender} decides. Confined to the I/O thread; frames are received on the listener's thread and handed over to
+ * it.
+ */
 final class OwnershipTransfer {
-    /** What the daemon does at each step. */
-    interface Estate {
-        /** Stops deciding, accepting, watching and telling; the calls that are out go on, and are told. */
-        HandoverFrame.Give give(Consumer<Handover.ForwardedOutcome> told);
+    /** What is transferred. Called on the I/O thread. */
+    interface Service {
+        /**
+         * Stops deciding, accepting, watching discovery and notifying. Attempts in flight go on.
+         *
+         * @param onAttemptEnded receives the outcome of each of them from now on
+         * @return all state that the newer process needs besides the journal
+         */
+        HandoverFrame.StateTransfer suspend(Consumer<Handover.ForwardedOutcome> onAttemptEnded);
 
-        /** Takes all of that back. */
-        void resume(List<Handover.ForwardedOutcome> heard);
+        /** Takes {@link #suspend} back; {@code endedAttempts} ended meanwhile, and count now. */
+        void resume(List<Handover.ForwardedOutcome> endedAttempts);
 
-        /** The other process has it: what clients still send goes there. */
-        void leave();
+        /**
+         * The newer process owns the work: forwards to it what clients still send, and exits once nothing is left.
+         *
+         * @param allResultsSent whether the newer process was sent every attempt's outcome so far
+         */
+        void retire(BooleanSupplier allResultsSent);
 
-        /** Gives up a call. */
-        void abandon(String id, int attempt);
+        /** The newer process wants this attempt, which is in flight here, cancelled. */
+        void cancelAttempt(String requestId, int attempt);
     }
 
-    private static final long AGAIN_NS = 20 * Clock.MS, REGAIN_NS = 300 * Clock.MS;
+    private static final long RELOCK_INTERVAL_NS = 20 * Clock.MS;
+
+    /** So long a newer process that failed may still hold the lock. */
+    private static final long RELOCK_LIMIT_NS = 300 * Clock.MS;
 
     private final IoLoop io;
-    private final OwnershipLock owner;
-    private final Estate estate;
-    private final HandoverSender giving = new HandoverSender();
-    private final List<Handover.ForwardedOutcome> heard =
-            new ArrayList<>(); // since it was given; as many as calls were out
-    private HandoverChannel link;
-    private ServerSocketChannel links;
-
-    OwnershipTransfer(IoLoop io, OwnershipLock owner, Estate estate) {
+    private final OwnershipLock lock;
+    private final Service service;
+    private final HandoverSender sender = new HandoverSender();
+
+    /** Since the transfer began; no more than were in flight then. */
+    private final List<Handover.ForwardedOutcome> endedAttempts = new ArrayList<>();
+
+    private HandoverChannel successor; // null until a newer process has asked
+    private HandoverListener listener; // null where upgrades are not possible
+
+    OwnershipTransfer(IoLoop io, OwnershipLock lock, Service service) {
         this.io = io;
-        this.owner = owner;
-        this.estate = estate;
+        this.lock = lock;
+        this.service = service;
     }
 
-    /** Newer processes may ask from now on. */
-    void listen(Path folder) {
-        if (!HandoverChannel.possible(folder)) {
-            System.err.println("no upgrade under load: the path of " + folder + " is too long for a socket");
+    /** Newer processes may ask from now on. Where no socket is possible the dispatcher serves on without. */
+    void listen(Path stateDirectory) {
+        if (!HandoverChannel.isSupported(stateDirectory)) {
+            System.err.println("no upgrade under load: the path of " + stateDirectory + " is too long for a socket");
             return;
         }
         try {
-            links = HandoverChannel.listen(
-                    folder, l -> l.read(f -> io.run(() -> came(l, f)), () -> io.run(() -> lost(l))));
+            listener = HandoverListener.open(stateDirectory, this::receiveFrames);
         } catch (IOException e) {
             System.err.println("no upgrade under load: " + e);
         }
     }
 
-    HandoverSender.State state() {
-        return giving.state();
+    private void receiveFrames(HandoverChannel channel) {
+        channel.receiveAll(
+                frame -> io.run(() -> onFrame(channel, frame)), () -> io.run(() -> onChannelClosed(channel)));
     }
 
-    /** Whether the newer process has been told all there was to tell. */
-    boolean flushed() {
-        return link == null || link.flushed();
+    /** How far the transfer has come. */
+    HandoverSender.State state() {
+        return sender.state();
     }
 
-    private void came(HandoverChannel from, HandoverFrame frame) {
-        if (frame instanceof HandoverFrame.Take && giving.asked() == HandoverSender.Step.GIVE) {
-            link = from;
-            give();
-        } else if (from == link
-                && frame instanceof HandoverFrame.Owned
-                && giving.owned() == HandoverSender.Step.LEAVE) {
-            System.err.println("passed on");
-            heard.clear();
-            try {
-                links.close();
-            } catch (IOException e) {
-                System.err.println("upgrade: " + e);
+    private void onFrame(HandoverChannel channel, HandoverFrame frame) {
+        if (frame instanceof HandoverFrame.TransferRequest) {
+            if (sender.onTransferRequested() == HandoverSender.Action.TRANSFER) {
+                successor = channel;
+                transfer();
+            }
+        } else if (channel != successor) {
+            return;
+        } else if (frame instanceof HandoverFrame.OwnershipConfirmed) {
+            if (sender.onOwnershipConfirmed() == HandoverSender.Action.RETIRE) {
+                retire();
             }
-            estate.leave();
-        } else if (from == link && frame instanceof HandoverFrame.Abandon a) {
-            estate.abandon(a.id(), a.attempt());
+        } else if (frame instanceof HandoverFrame.AttemptCancellation cancellation) {
+            service.cancelAttempt(cancellation.requestId(), cancellation.attempt());
         }
     }
 
-    private void give() {
+    private void transfer() {
         System.err.println("passing on");
-        HandoverFrame.Give all = estate.give(passed -> {
-            if (giving.state() == HandoverSender.State.GIVEN) {
-                heard.add(passed);
-            }
-            link.send(new HandoverFrame.Ended(passed));
-        });
+        HandoverFrame.StateTransfer state = service.suspend(this::onAttemptEnded);
         try {
-            owner.release();
-        } catch (IOException e) { // the other process will not get it, and gives up
+            lock.release();
+        } catch (IOException e) { // the newer process will not get the lock, and gives up
             System.err.println("upgrade: " + e);
         }
-        link.send(all);
+        successor.send(state);
     }
 
-    private void lost(HandoverChannel which) {
-        if (which != link) {
+    private void onAttemptEnded(Handover.ForwardedOutcome attempt) {
+        if (sender.state() == HandoverSender.State.TRANSFERRING) {
+            endedAttempts.add(attempt);
+        }
+        successor.send(new HandoverFrame.AttemptCompletion(attempt));
+    }
+
+    private void retire() {
+        System.err.println("passed on");
+        endedAttempts.clear();
+        try {
+            listener.close();
+        } catch (IOException e) {
+            System.err.println("upgrade: " + e);
+        }
+        service.retire(successor::isFlushed);
+    }
+
+    private void onChannelClosed(HandoverChannel channel) {
+        if (channel != successor) {
             return;
         }
-        switch (giving.lost()) {
+        switch (sender.onChannelClosed()) {
             case RESUME -> {
                 System.err.println("the newer process failed; going on");
-                link = null;
-                regain(io.clock.now() + REGAIN_NS);
+                successor = null;
+                relock(io.clock.now() + RELOCK_LIMIT_NS);
             }
             case FAIL -> {
                 System.err.println("the newer process ended; this one has passed its work on, and ends too");
                 Runtime.getRuntime().halt(1);
             }
-            default -> {}
+            case NONE, TRANSFER, RETIRE -> {
+                // This end had no part in a transfer.
+            }
         }
     }
 
-    /** Nothing is decided until the lock is held again, with which the other process may be about to die. Where it lives, it owns. */
-    private void regain(long by) {
+    /**
+     * Decides nothing until the lock is held again: the newer process may be dying with it. Where that one lives it
+     * owns the work, and this one exits.
+     */
+    private void relock(long deadlineNs) {
         try {
-            if (owner.take()) {
-                List<Handover.ForwardedOutcome> all = List.copyOf(heard);
-                heard.clear();
-                estate.resume(all);
+            if (lock.tryAcquire()) {
+                List<Handover.ForwardedOutcome> ended = List.copyOf(endedAttempts);
+                endedAttempts.clear();
+                service.resume(ended);
                 return;
             }
         } catch (IOException e) {
             System.err.println("upgrade: " + e);
         }
-        if (io.clock.now() > by) {
+        if (io.clock.now() > deadlineNs) {
             System.err.println("upgrade: another process owns the folder; this one ends");
             Runtime.getRuntime().halt(1);
         }
-        io.at(io.clock.now() + AGAIN_NS, () -> regain(by));
+        io.at(io.clock.now() + RELOCK_INTERVAL_NS, () -> relock(deadlineNs));
     }
 }
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -19,127 +19,122 @@
 import java.util.Set;
 
 /**
- * Tells the module what its part is of what the whole fleet does, by the members that there are; of the I/O thread. Where shares
- * are off this class is not loaded.
+ * Tells the policy its part of what the whole fleet may do, by the members that are there: a share of each limit, a
+ * subset of the endpoints, and whose turn it is to probe an open breaker. Confined to the I/O thread; not loaded where
+ * it is off.
  */
 final class PartitionService {
-    /** The members as one source has them; each list is this one's own to keep. */
-    interface Members {
-        /** This one's name, as it stands among {@link #present}. */
-        String self();
+    private static final long CHECK_INTERVAL_NS = 250 * Clock.MS;
 
-        /** Who is there, this one among them. */
-        List<String> present();
+    /** A probe that is another member's turn is put off for so long: two checks, so the next one comes in time. */
+    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MS;
 
-        /** What others say of a destination that counts yet. */
-        List<HealthReport> claims(long destination);
-    }
-
-    /** So many members that the platform told of, and which of them this one is; they say nothing. */
-    record Told(int number, int count) implements Members {
-        private static String name(int i) {
-            return "m" + i;
-        }
-
-        @Override
-        public String self() {
-            return name(number);
-        }
-
-        @Override
-        public List<String> present() {
-            return java.util.stream.IntStream.range(0, count)
-                    .mapToObj(Told::name)
-                    .toList();
-        }
-
-        @Override
-        public List<HealthReport> claims(long destination) {
-            return List.of();
-        }
-    }
-
-    private static final long LOOK_NS = 250 * Clock.MS, DEFER_NS = 500 * Clock.MS, IDLE_NS = 2_000 * Clock.MS;
+    /** A member may be ready for a probe for so long without one, before its turn passes on. */
+    private static final long IDLE_TURN_LIMIT_NS = 2_000 * Clock.MS;
 
     private final IoLoop io;
-    private final RequestDispatcher relay;
-    private final EndpointList hosts;
-    private final Members members;
-    private final FleetSizeEstimator size;
-    private final int connections, each;
-    private final double retries;
-    private final boolean turns;
-    private final Map<Long, TurnTakingTask> duties = new HashMap<>();
-    private Set<String> preferred = Set.of(), known = Set.of();
-    private List<String> names = List.of();
-    private int sharers;
+    private final RequestDispatcher dispatcher;
+    private final EndpointList endpoints;
+    private final PartitionMembers members;
+    private final FleetSizeEstimator fleetSize;
+    private final int connectionsPerEndpoint;
+    private final int connectionsPerMember;
+    private final double retryRatio;
+    private final boolean probesByTurns;
+    private final Map<Long, TurnTakingTask> turnsByDestination = new HashMap<>();
+    private Set<String> preferredEndpoints = Set.of();
+    private Set<String> knownEndpoints = Set.of();
+    private List<String> memberNames = List.of();
+    private int divisor;
     private boolean left;
 
-    PartitionService(IoLoop io, Settings s, RequestDispatcher relay, EndpointList hosts, int told, Members members) {
+    /**
+     * Divides from now on.
+     *
+     * @param configuredCount how many members the platform's configuration says there are
+     */
+    PartitionService(
+            IoLoop io,
+            Settings settings,
+            RequestDispatcher dispatcher,
+            EndpointList endpoints,
+            int configuredCount,
+            PartitionMembers members) {
         this.io = io;
-        this.relay = relay;
-        this.hosts = hosts;
+        this.dispatcher = dispatcher;
+        this.endpoints = endpoints;
         this.members = members;
-        this.size = new FleetSizeEstimator(told, s.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MS);
-        this.connections = s.get(SettingKeys.SHARES_CONNECTIONS).intValue();
-        this.each = s.get(SettingKeys.SHARES_EACH).intValue();
-        this.retries = s.get(SettingKeys.SHARES_RETRIES) / 100.0;
-        this.turns = s.get(SettingKeys.SHARES_TRIALS).equals("one");
-        look();
+        this.fleetSize =
+                new FleetSizeEstimator(configuredCount, settings.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MS);
+        this.connectionsPerEndpoint =
+                settings.get(SettingKeys.SHARES_CONNECTIONS).intValue();
+        this.connectionsPerMember = settings.get(SettingKeys.SHARES_EACH).intValue();
+        this.retryRatio = settings.get(SettingKeys.SHARES_RETRIES) / 100.0;
+        this.probesByTurns = settings.get(SettingKeys.SHARES_TRIALS).equals("one");
+        check();
     }
 
+    /** Divides no more; the last share stays. */
     void leave() {
         left = true;
     }
 
-    private void look() {
+    private void check() {
         if (left) {
             return;
         }
+        divide();
+        if (probesByTurns) {
+            dispatcher.forEachBreaker(this::takeTurn);
+        }
+        io.at(io.clock.now() + CHECK_INTERVAL_NS, this::check);
+    }
+
+    /** Tells the policy its part again where members, endpoints or the divisor have changed. */
+    private void divide() {
         List<String> present = members.present().stream().sorted().toList();
-        size.observe(io.clock.now(), present.size());
-        int now = size.estimate(io.clock.now());
-        Map<Long, List<String>> listed = hosts.all();
-        Set<String> ids = new HashSet<>();
-        listed.values().forEach(ids::addAll);
-        if (now != sharers || !present.equals(names) || !ids.equals(known)) {
-            if (now != sharers || present.size() != names.size()) {
-                System.err.println("shares: " + present.size() + " members, limits are divided by " + now);
-            }
-            sharers = now;
-            names = present;
-            known = ids;
-            preferred = EndpointSubsetting.preferred(members.self(), names, listed, connections, each);
-            relay.setFleetShare(
-                    sharers,
-                    e -> preferred.contains(e) || !known.contains(e),
-                    retries); // one that is new is not passed over
+        fleetSize.observe(io.clock.now(), present.size());
+        int newDivisor = fleetSize.estimate(io.clock.now());
+        Map<Long, List<String>> endpointsByDestination = endpoints.all();
+        Set<String> endpointIds = new HashSet<>();
+        endpointsByDestination.values().forEach(endpointIds::addAll);
+        if (newDivisor == divisor && present.equals(memberNames) && endpointIds.equals(knownEndpoints)) {
+            return;
         }
-        if (turns) {
-            relay.forEachBreaker(this::turn);
+        if (newDivisor != divisor || present.size() != memberNames.size()) {
+            System.err.println("shares: " + present.size() + " members, limits are divided by " + newDivisor);
         }
-        io.at(io.clock.now() + LOOK_NS, this::look);
+        divisor = newDivisor;
+        memberNames = present;
+        knownEndpoints = endpointIds;
+        preferredEndpoints = EndpointSubsetting.preferred(
+                members.self(), memberNames, endpointsByDestination, connectionsPerEndpoint, connectionsPerMember);
+        dispatcher.setFleetShare(divisor, this::isPreferred, retryRatio);
+    }
+
+    /** An endpoint that is new is not passed over until the subsets are made anew. */
+    private boolean isPreferred(String endpoint) {
+        return preferredEndpoints.contains(endpoint) || !knownEndpoints.contains(endpoint);
     }
 
-    private void turn(long destination, Sender.Breaker breaker) {
-        BreakerState own = standing(breaker.standing());
-        TurnTakingTask duty = own == BreakerState.CLOSED
-                ? duties.remove(destination)
-                : duties.computeIfAbsent(
-                        destination, d -> new TurnTakingTask(Long.toString(d), members.self(), IDLE_NS));
-        if (duty == null || own == BreakerState.CLOSED) {
+    private void takeTurn(long destination, Sender.Breaker breaker) {
+        BreakerState own = state(breaker.standing());
+        if (own == BreakerState.CLOSED) {
+            turnsByDestination.remove(destination);
             return;
         }
-        List<TurnTakingTask.PeerReport> others = members.claims(destination).stream()
-                .filter(c -> !c.reporter().equals(members.self()))
-                .map(c -> new TurnTakingTask.PeerReport(c.reporter(), standing(c.state())))
+        TurnTakingTask turns = turnsByDestination.computeIfAbsent(
+                destination, d -> new TurnTakingTask(Long.toString(d), members.self(), IDLE_TURN_LIMIT_NS));
+        List<TurnTakingTask.PeerReport> others = members.reports(destination).stream()
+                .filter(report -> !report.reporter().equals(members.self()))
+                .map(report -> new TurnTakingTask.PeerReport(report.reporter(), state(report.state())))
                 .toList();
-        if (duty.defersProbe(io.clock.now(), own, others)) {
-            relay.defer(hosts.of(destination), DEFER_NS);
+        if (turns.defersProbe(io.clock.now(), own, others)) {
+            dispatcher.defer(endpoints.of(destination), PROBE_DEFERRAL_NS);
         }
     }
 
-    private static BreakerState standing(Sender.Standing own) {
+    private static BreakerState state(Sender.Standing own) {
         return switch (own) {
             case CLOSED -> BreakerState.CLOSED;
             case HALF_OPEN -> BreakerState.HALF_OPEN;
@@ -147,8 +142,8 @@
         };
     }
 
-    private static BreakerState standing(HealthReport.State said) {
-        return switch (said) {
+    private static BreakerState state(HealthReport.State reported) {
+        return switch (reported) {
             case CLOSED -> BreakerState.CLOSED;
             case HALF_OPEN -> BreakerState.HALF_OPEN;
             case OPEN -> BreakerState.OPEN;
--- a/src/main/java/elderseam/app/ReloadTrigger.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -9,87 +9,110 @@
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /**
  * Reads the configuration again on SIGHUP, on the signal's own thread. A file that can't be used changes nothing.
- * Without a handler the JVM ends on this signal; sun.misc.Signal is the only one there is, and by reflection since
- * the compiler warns of it however it is told not to. Where whoever started the process has SIGHUP ignored (nohup does, and
- * some supervisors), the JVM leaves it so whatever handler it is given, and no signal ever comes: then the files are looked at
- * instead, and a change of one counts as the signal.
+ *
+ * <p>Without a handler the JVM ends on this signal. {@code sun.misc.Signal} is the only API for one, and is used by
+ * reflection since the compiler's warning of it can't be suppressed. Where SIGHUP was ignored when the process was
+ * started (as by nohup and some supervisors) the JVM keeps it so whatever handler is installed, and no signal ever
+ * arrives: then the files are polled instead, and a change of one counts as the signal.
  */
 final class ReloadTrigger {
-    /** Reads all that there is to read, or fails: what applies it, whole, on the thread that owns things. */
-    interface Reading {
+    /** Reads a configuration. */
+    interface Reader {
+        /** Reads all there is to read; the result applies it, and is run on the thread that owns what it changes. */
         Runnable read() throws IOException;
     }
 
-    private static final int MOST_FAULTS = 20;
-    private static final long LOOK_NS = 500 * Clock.MS;
+    /** What changes with a file. */
+    private record FileStamp(Object modified, long bytes, String key) {
+        static Optional<FileStamp> of(Path file) {
+            try {
+                BasicFileAttributes attributes = Files.readAttributes(file, BasicFileAttributes.class);
+                return Optional.of(new FileStamp(
+                        attributes.lastModifiedTime(), attributes.size(), String.valueOf(attributes.fileKey())));
+            } catch (IOException e) {
+                return Optional.empty(); // there is no such file now
+            }
+        }
+    }
+
+    private static final int MAX_LOGGED_FAULTS = 20;
+    private static final long POLL_INTERVAL_NS = 500 * Clock.MS;
 
     private ReloadTrigger() {}
 
-    /** {@code use} is given what applies each reading that could be made; {@code files} are those that a reading reads. */
-    static void onHangUp(Reading reading, Consumer<Runnable> use, List<Path> files) {
+    /**
+     * Installs the handler.
+     *
+     * @param applier runs what applies a configuration that could be read
+     * @param files those that the reader reads
+     */
+    static void install(Reader reader, Consumer<Runnable> applier, List<Path> files) {
         try {
-            Class<?> signal = Class.forName("sun.misc.Signal"), handler = Class.forName("sun.misc.SignalHandler");
-            InvocationHandler read = (proxy, method, args) -> {
-                if (method.getName().equals("handle")) {
-                    read(reading, use);
-                }
-                return null;
-            };
-            Object before = signal.getMethod("handle", signal, handler)
-                    .invoke(
-                            null,
-                            signal.getConstructor(String.class).newInstance("HUP"),
-                            Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, read));
-            if (before == handler.getField("SIG_IGN").get(null)) {
+            if (!handleHangUp(reader, applier)) {
                 System.err.println("SIGHUP is ignored by whoever started this: its files are looked at instead");
-                Thread looking = new Thread(() -> look(reading, use, files), "reload");
-                looking.setDaemon(true);
-                looking.start();
+                Thread poller = new Thread(() -> poll(reader, applier, files), "reload");
+                poller.setDaemon(true);
+                poller.start();
             }
         } catch (ReflectiveOperationException e) {
             System.err.println("no reload on SIGHUP: " + e);
         }
     }
 
-    private static void look(Reading reading, Consumer<Runnable> use, List<Path> files) {
-        List<Object> seen = marks(files);
+    /**
+     * Installs a handler for SIGHUP; false where the signal was ignored at the start, and the handler is never called.
+     */
+    private static boolean handleHangUp(Reader reader, Consumer<Runnable> applier) throws ReflectiveOperationException {
+        Class<?> signalType = Class.forName("sun.misc.Signal");
+        Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+        InvocationHandler onCall = (proxy, method, args) -> {
+            if (method.getName().equals("handle")) {
+                reload(reader, applier);
+            }
+            return null;
+        };
+        Object handler = Proxy.newProxyInstance(handlerType.getClassLoader(), new Class<?>[] {handlerType}, onCall);
+        Object hangUp = signalType.getConstructor(String.class).newInstance("HUP");
+        Object previous =
+                signalType.getMethod("handle", signalType, handlerType).invoke(null, hangUp, handler);
+        return previous != handlerType.getField("SIG_IGN").get(null);
+    }
+
+    /** Never returns. A file that is half written can't be used, and will have changed again by the next look. */
+    private static void poll(Reader reader, Consumer<Runnable> applier, List<Path> files) {
+        List<Optional<FileStamp>> known = stamps(files);
         while (true) {
-            LockSupport.parkNanos(LOOK_NS);
-            List<Object> now = marks(files);
-            if (!now.equals(seen)) { // one that is half written can't be used, and has changed again by the next look
-                seen = now;
-                read(reading, use);
+            LockSupport.parkNanos(POLL_INTERVAL_NS);
+            List<Optional<FileStamp>> current = stamps(files);
+            if (!current.equals(known)) {
+                known = current;
+                reload(reader, applier);
             }
         }
     }
 
-    /** What changes with a file: its time, its length and which file it is; nothing where there is none. */
-    private static List<Object> marks(List<Path> files) {
-        List<Object> marks = new ArrayList<>();
+    private static List<Optional<FileStamp>> stamps(List<Path> files) {
+        List<Optional<FileStamp>> stamps = new ArrayList<>();
         for (Path file : files) {
-            try {
-                BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
-                marks.addAll(List.of(a.lastModifiedTime(), a.size(), String.valueOf(a.fileKey())));
-            } catch (IOException e) {
-                marks.add("none");
-            }
+            stamps.add(FileStamp.of(file));
         }
-        return marks;
+        return stamps;
     }
 
     /** One at a time: each signal has a thread of its own. */
-    private static synchronized void read(Reading reading, Consumer<Runnable> use) {
+    private static synchronized void reload(Reader reader, Consumer<Runnable> applier) {
         try {
-            use.accept(reading.read());
-        } catch (IOException | RuntimeException e) {
+            applier.accept(reader.read());
+        } catch (IOException | RuntimeException e) { // whatever is wrong with the new one, the old one stays
             String.valueOf(e.getMessage())
                     .lines()
-                    .limit(MOST_FAULTS)
+                    .limit(MAX_LOGGED_FAULTS)
                     .forEach(fault -> System.err.println("configuration kept, the new one can't be used: " + fault));
         }
     }
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -12,7 +12,6 @@
 import elderseam.rules.IdempotencyKeyScheme;
 import elderseam.rules.KnownNames;
 import elderseam.rules.RuleEngine;
-import elderseam.rules.RuleEnvironment;
 import elderseam.rules.RuleLimits;
 import elderseam.rules.RuleLoader;
 import elderseam.settings.SettingKeys;
@@ -20,108 +19,147 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
-/** Wires the operator's rules to relay and journal; where there are none, and no key of earlier ones is remembered, not loaded. */
-final class RulesSetup implements LiveConfiguration.Rules, RuleEnvironment {
-    private static final long FRESH_NS = 50 * Clock.MS, PRUNE_NS = 60_000 * Clock.MS;
+/**
+ * The operator's rules in a running dispatcher: applies them to requests, and journals what their idempotency keys
+ * depend on. Confined to the I/O thread but for {@link #load} and {@link #reload}. Not loaded where there are no rules,
+ * and no keys of earlier ones.
+ */
+final class RulesSetup implements LiveConfiguration.ReloadableRules {
+    private static final long FORGET_INTERVAL_NS = 60_000 * Clock.MS;
 
     private final IoLoop io;
-    private final RequestDispatcher relay;
+    private final RequestDispatcher dispatcher;
     private final Journal journal;
     private final SettingsMap settings;
-    private final Sender.Settings module;
-    private final RuleEngine decider;
-    private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
-    private long breakersAt = Long.MIN_VALUE / 2;
-    private volatile int earlier;
-    private volatile IdempotencyKeyScheme current; // read by the signal's thread
-
-    /** Reads, checks and tests the rules, on any thread; null where no files are named. */
-    static RuleLoader.Loaded load(SettingsMap settings, Settings operator) throws IOException {
+    private final RuleEngine engine;
+    private volatile int rememberedSchemes; // of earlier rules
+    private volatile Optional<IdempotencyKeyScheme> currentScheme = Optional.empty();
+
+    /**
+     * Reads, checks and tests the rules that the operator's settings name, on any thread; empty where they name none.
+     *
+     * @throws IOException if they can't be used
+     */
+    static Optional<RuleLoader.Loaded> load(SettingsMap settings, Settings operator) throws IOException {
         List<Path> files =
                 operator.get(SettingKeys.RULES_FILES).stream().map(Path::of).toList();
         if (files.isEmpty()) {
-            return null;
+            return Optional.empty();
         }
         RuleLoader.Loaded loaded = RuleLoader.load(files, RuleLimits.of(operator), names(settings));
         loaded.warnings().forEach(System.err::println);
-        return loaded;
+        return Optional.of(loaded);
     }
 
     private static KnownNames names(SettingsMap settings) {
         return KnownNames.of(settings.names("services"), settings.names("orgs"));
     }
 
-    /** {@code loaded}: what {@link #load} gave, or null. */
-    RulesSetup(IoLoop io, SettingsMap settings, RuleLoader.Loaded loaded, RequestDispatcher relay, Journal journal)
+    /**
+     * Applies these rules from now on.
+     *
+     * @param loaded what {@link #load} returned; empty where only keys of earlier rules are remembered
+     * @throws IOException if the journal has no room for what their keys depend on
+     */
+    RulesSetup(
+            IoLoop io,
+            SettingsMap settings,
+            Optional<RuleLoader.Loaded> loaded,
+            RequestDispatcher dispatcher,
+            Journal journal)
             throws IOException {
         this.settings = settings;
         this.io = io;
-        this.relay = relay;
+        this.dispatcher = dispatcher;
         this.journal = journal;
-        KnownNames names = names(settings);
-        this.module = settings.settings();
-        this.decider = new RuleEngine(
-                module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(),
-                module.maxRetryAfterNs(),
-                module.mostHeld(),
-                this,
-                words -> System.err.println(words));
-        for (Map.Entry<String, byte[]> s : journal.keySchemes().entrySet()) {
-            IdempotencyKeyScheme scheme =
-                    new IdempotencyKeyScheme(s.getKey(), new String(s.getValue(), StandardCharsets.UTF_8));
-            if (loaded == null || !scheme.equals(loaded.book().scheme())) {
-                decider.remember(scheme, RuleLoader.scheme(scheme, names));
-            }
-        }
-        if (!put(loaded)) {
+        Sender.Settings policySettings = settings.settings();
+        this.engine = new RuleEngine(
+                policySettings.classes().stream()
+                        .map(Sender.MessageClass::deadlineNs)
+                        .toList(),
+                policySettings.maxRetryAfterNs(),
+                policySettings.mostHeld(),
+                new DispatcherRuleEnvironment(io.clock, dispatcher, policySettings),
+                text -> System.err.println(text));
+        rememberEarlierSchemes(schemeOf(loaded));
+        if (!apply(loaded)) {
             throw new IOException("rules: the journal has no room for what their keys stand on");
         }
-        relay.countAttemptsByDestination();
-        prune();
+        dispatcher.countAttemptsByDestination();
+        forgetOldSchemes();
     }
 
-    /** Between two requests, whole; what its keys stand on is journalled before any of them counts. */
-    private boolean put(RuleLoader.Loaded loaded) {
-        IdempotencyKeyScheme scheme = loaded == null ? null : loaded.book().scheme();
-        if (scheme != null && !journal.putKeyScheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8))) {
-            return false;
+    /** Requests that were accepted under earlier rules are still known by the keys of those. */
+    private void rememberEarlierSchemes(Optional<IdempotencyKeyScheme> current) throws IOException {
+        for (Map.Entry<String, byte[]> entry : journal.keySchemes().entrySet()) {
+            IdempotencyKeyScheme scheme =
+                    new IdempotencyKeyScheme(entry.getKey(), new String(entry.getValue(), StandardCharsets.UTF_8));
+            if (!current.equals(Optional.of(scheme))) {
+                engine.remember(scheme, RuleLoader.scheme(scheme, names(settings)));
+            }
         }
-        if (scheme == null) {
+    }
+
+    /**
+     * Between two requests: journals what the rules' keys depend on, then applies them; false, and the rules of before
+     * stay, where the journal has no room.
+     */
+    private boolean apply(Optional<RuleLoader.Loaded> loaded) {
+        Optional<IdempotencyKeyScheme> scheme = schemeOf(loaded);
+        if (scheme.isEmpty()) {
             journal.clearCurrentKeyScheme();
+        } else if (!journalScheme(scheme.get())) {
+            return false;
         }
-        decider.put(loaded == null ? null : loaded.book());
-        earlier = decider.remembered();
-        current = scheme;
-        System.err.println("rules: "
-                + (loaded == null
-                        ? "none"
-                        : loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
-                                + loaded.bound() + " units a request")
-                + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
+        engine.put(loaded.map(RuleLoader.Loaded::book).orElse(null));
+        rememberedSchemes = engine.remembered();
+        currentScheme = scheme;
+        logApplied(loaded);
         return true;
     }
 
-    private void prune() {
-        decider.forget(journal.keySchemes().keySet());
-        earlier = decider.remembered();
-        io.at(io.clock.now() + PRUNE_NS, this::prune);
+    private boolean journalScheme(IdempotencyKeyScheme scheme) {
+        return journal.putKeyScheme(scheme.name(), scheme.text().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Optional<IdempotencyKeyScheme> schemeOf(Optional<RuleLoader.Loaded> loaded) {
+        return loaded.map(rules -> rules.book().scheme());
+    }
+
+    private void logApplied(Optional<RuleLoader.Loaded> loaded) {
+        String rules = loaded.map(RulesSetup::summary).orElse("none");
+        int earlier = rememberedSchemes;
+        System.err.println(
+                "rules: " + rules + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
+    }
+
+    private static String summary(RuleLoader.Loaded loaded) {
+        return loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
+                + loaded.bound() + " units a request";
+    }
+
+    private void forgetOldSchemes() {
+        engine.forget(journal.keySchemes().keySet());
+        rememberedSchemes = engine.remembered();
+        io.at(io.clock.now() + FORGET_INTERVAL_NS, this::forgetOldSchemes);
     }
 
     @Override
     public Runnable reload(Settings fresh) throws IOException {
-        RuleLoader.Loaded loaded = load(settings, fresh);
-        IdempotencyKeyScheme next = loaded == null ? null : loaded.book().scheme();
-        if (earlier >= RuleEngine.MOST_REMEMBERED && current != null && !current.equals(next)) {
-            throw new IOException("rules: keys of " + earlier + " earlier readings are still remembered, allowed: "
-                    + RuleEngine.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
+        Optional<RuleLoader.Loaded> loaded = load(settings, fresh);
+        boolean changesKeys = currentScheme.isPresent() && !currentScheme.equals(schemeOf(loaded));
+        if (changesKeys && rememberedSchemes >= RuleEngine.MOST_REMEMBERED) {
+            throw new IOException(
+                    "rules: keys of " + rememberedSchemes + " earlier readings are still remembered, allowed: "
+                            + RuleEngine.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
         }
         return () -> {
-            System.err.println("rules: " + decider.counts());
-            if (!put(loaded)) {
+            System.err.println("rules: " + engine.counts());
+            if (!apply(loaded)) {
                 System.err.println(
                         "rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
             }
@@ -129,62 +167,29 @@
     }
 
     @Override
-    public Ruling rule(ActiveRequest.Message m, RequestAttributes facts) {
-        long now = io.clock.now();
-        if (m.destination() == RequestDispatcher.NO_DESTINATION) { // the warm path's
-            return new Admitted(m, List.of());
+    public Ruling rule(ActiveRequest.Message message, RequestAttributes facts) {
+        if (message.destination() == RequestDispatcher.NO_DESTINATION) { // sent by StartupWarmup
+            return new Admitted(message, List.of());
         }
-        RuleEngine.Decided d = decider.decide(m, facts, now, io.clock.toWall(now));
-        if (!d.fault().isEmpty()) {
-            return new Invalid(m, d.fault());
+        long nowNs = io.clock.now();
+        RuleEngine.Decided decided = engine.decide(message, facts, nowNs, io.clock.toWall(nowNs));
+        if (!decided.fault().isEmpty()) {
+            return new Invalid(message, decided.fault());
         }
-        boolean known = relay.isKnown(m.id())
-                || (!d.message().deduplicationKey().isEmpty() || !d.also().isEmpty())
-                        && relay.isKnown(d.message().deduplicationKey(), d.also());
-        long wait = known ? 0 : decider.admit(now);
-        return wait > 0 ? new Rejected(FinalOutcome.rejected(wait)) : new Admitted(d.message(), d.also());
-    }
-
-    // ---------------------------------------------------------------- how the dispatcher stands
-
-    private Sender.Breaker look(long destination) {
-        long now = io.clock.now();
-        if (now - breakersAt > FRESH_NS) {
-            breakersAt = now;
-            breakers.clear();
-            relay.forEachBreaker(breakers::put);
+        long retryAfterNs = isKnown(message, decided) ? 0 : engine.admit(nowNs);
+        if (retryAfterNs > 0) {
+            return new Rejected(FinalOutcome.rejected(retryAfterNs));
         }
-        return breakers.get(destination);
-    }
-
-    @Override
-    public Breaker breaker(long destination) {
-        Sender.Breaker b = look(destination);
-        return b == null || b.standing() == Sender.Standing.CLOSED
-                ? Breaker.CLOSED
-                : b.standing() == Sender.Standing.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
-    }
-
-    @Override
-    public long waitNs(long destination) {
-        Sender.Breaker b = look(destination);
-        return b == null ? 0 : Math.max(0, b.waitNs());
+        return new Admitted(decided.message(), decided.also());
     }
 
-    @Override
-    public int inFlight(long destination) {
-        return relay.attemptsInFlight(destination);
-    }
-
-    @Override
-    public int held() {
-        return relay.requestsInFlight();
-    }
-
-    @Override
-    public double share(int tenant) {
-        return tenant < 0 || tenant >= module.tenantRates().size()
-                ? 0
-                : module.tenantRates().get(tenant) / Math.max(1, module.senders());
+    /** Whether the request was accepted before, by its id or by a key: no limit applies to it again. */
+    private boolean isKnown(ActiveRequest.Message message, RuleEngine.Decided decided) {
+        if (dispatcher.isKnown(message.id())) {
+            return true;
+        }
+        String key = decided.message().deduplicationKey();
+        boolean hasKey = !key.isEmpty() || !decided.also().isEmpty();
+        return hasKey && dispatcher.isKnown(key, decided.also());
     }
 }
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -17,45 +17,61 @@
 import java.net.InetSocketAddress;
 
 /**
- * The walk through a whole dispatcher that a newer process takes beside the older one: journal in memory, a listener at a port of
- * its own, nothing that could be taken on. What it builds is thrown away; the code has been run.
+ * Warms up a newer process beside the older one that still serves: builds a whole dispatcher with a journal in memory
+ * and a listener at a port of its own, runs {@link StartupWarmup} through it, and throws it away. Confined to the I/O
+ * thread.
  */
 final class StandbyWarmup {
-    private static final int FEW = 4;
+    private static final int MAX_CONNECTIONS = 4;
+    private static final long IDLE_NS = 1;
+    private static final int JOURNAL_BYTES = 1 << 20;
 
     private StandbyWarmup() {}
 
-    /** {@code then} is run once, warm or not. */
-    static void warm(IoLoop io, PlatformConfiguration config, Runnable then) {
+    /** Begins to warm up; {@code onDone} is called once, warmed up or not. */
+    static void run(IoLoop io, PlatformConfiguration config, Runnable onDone) {
         try {
-            Journal journal = new Journal(new InMemoryJournalStore(), 1 << 20, io.clock);
-            RequestDispatcher relay = new RequestDispatcher(
-                    config.settings().settings(), config.seed(), journal, io.clock, io, words -> {});
-            EndpointList hosts = new EndpointList(config.settings());
-            EndpointConnectionPool few = new EndpointConnectionPool(io, 1, FEW, PlatformFrontend.MOST_BODY);
-            PlatformFrontend front = new PlatformFrontend(
-                    io, few, new EndpointAddress("none", ""), relay, config.settings(), null, new Lifecycle());
-            relay.registerFrontend(
-                    PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, few, hosts, config.settings()));
-            relay.updateEndpoints(
-                    Sender.ListKind.CACHED, hosts.decode(config.known().get("servers"), true));
-            HttpServer server = new HttpServer(
-                    io,
-                    new InetSocketAddress(config.listen().getAddress(), 0),
-                    PlatformFrontend.MOST_BODY,
-                    FEW,
-                    config.limits().reading(),
-                    null,
-                    front::handle);
-            StartupWarmup.walk(
-                    io, server.address(), config.settings().names("services").get(0), () -> {
-                        server.stopAccepting();
-                        server.closeConnections();
-                        then.run();
-                    });
-        } catch (IOException | RuntimeException e) {
+            HttpServer server = server(io, config, dispatcher(io, config));
+            String requestClass = config.settings().names("services").get(0);
+            StartupWarmup.run(io, server.address(), requestClass, () -> {
+                server.stopAccepting();
+                server.closeConnections();
+                onDone.run();
+            });
+        } catch (IOException | RuntimeException e) { // whatever it is, a cold takeover is better than none
             System.err.println("standby: not warm: " + e);
-            then.run();
+            onDone.run();
         }
     }
+
+    private static PlatformFrontend dispatcher(IoLoop io, PlatformConfiguration config) throws IOException {
+        Journal journal = new Journal(new InMemoryJournalStore(), JOURNAL_BYTES, io.clock);
+        RequestDispatcher dispatcher =
+                new RequestDispatcher(config.settings().settings(), config.seed(), journal, io.clock, io, text -> {});
+        EndpointList endpoints = new EndpointList(config.settings());
+        EndpointConnectionPool connections =
+                new EndpointConnectionPool(io, IDLE_NS, MAX_CONNECTIONS, PlatformFrontend.MOST_BODY);
+        PlatformFrontend frontend = new PlatformFrontend(
+                io, connections, new EndpointAddress("none", ""), dispatcher, config.settings(), null, new Lifecycle());
+        dispatcher.registerFrontend(
+                PlatformFrontend.NUMBER,
+                frontend,
+                new PlatformAttemptSender(io, connections, endpoints, config.settings()));
+        dispatcher.updateEndpoints(
+                Sender.ListKind.CACHED, endpoints.decode(config.known().get("servers"), true));
+        return frontend;
+    }
+
+    private static HttpServer server(IoLoop io, PlatformConfiguration config, PlatformFrontend frontend)
+            throws IOException {
+        InetSocketAddress anyPort = new InetSocketAddress(config.listen().getAddress(), 0);
+        return new HttpServer(
+                io,
+                anyPort,
+                PlatformFrontend.MOST_BODY,
+                MAX_CONNECTIONS,
+                config.limits().reading(),
+                null,
+                frontend::handle);
+    }
 }
--- a/src/main/java/elderseam/app/StartupWarmup.java
+++ b/src/main/java/elderseam/app/StartupWarmup.java
@@ -11,21 +11,43 @@
 import java.util.Map;
 
 /**
- * The code that the first second needs, run before readiness: a few requests to the own listener, none of which can be
- * taken on, over the same connections and readers that calls to upstream hosts use.
+ * Runs the code that the first second needs before readiness: a few requests to the process's own listener, none of
+ * which can be accepted, over the same connections and parsers that attempts use. Confined to the I/O thread.
  */
 final class StartupWarmup {
-    private static final long WITHIN_NS = 300 * Clock.MS; // readiness does not wait longer than this
+    /** Readiness does not wait longer than this. */
+    private static final long LIMIT_NS = 300 * Clock.MS;
+
     private static final int ROUNDS = 3;
+    private static final int BODY_BYTES = 64;
+    private static final int MAX_ANSWER_BYTES = 1 << 10;
+
+    private final IoLoop io;
+    private final EndpointConnectionPool connections;
+    private final EndpointAddress self;
+    private final List<HttpRequest> requests;
+    private final long deadlineNs;
+    private final Runnable onDone;
 
-    private StartupWarmup() {}
+    private StartupWarmup(IoLoop io, EndpointAddress self, List<HttpRequest> requests, Runnable onDone) {
+        this.io = io;
+        this.connections = new EndpointConnectionPool(io, LIMIT_NS, 1, MAX_ANSWER_BYTES);
+        this.self = self;
+        this.requests = requests;
+        this.deadlineNs = io.clock.now() + LIMIT_NS;
+        this.onDone = onDone;
+    }
 
-    /** {@code cls}: the name of a class of messages; {@code then} is run once, warm or not. */
-    static void walk(IoLoop io, InetSocketAddress listener, String cls, Runnable then) {
+    /**
+     * Begins to warm up.
+     *
+     * @param listener the process's own platform listener
+     * @param requestClass the name of any request class
+     * @param onDone called once, warmed up or not
+     */
+    static void run(IoLoop io, InetSocketAddress listener, String requestClass, Runnable onDone) {
         String address = listener.getAddress().getHostAddress() + ":" + listener.getPort();
-        EndpointConnectionPool own = new EndpointConnectionPool(io, WITHIN_NS, 1, 1 << 10);
-        EndpointAddress self = new EndpointAddress("self", address);
-        Map<String, String> nowhere = Map.of(
+        Map<String, String> unroutable = Map.of(
                 "X-Txn",
                 "warm",
                 "X-Remaining",
@@ -36,24 +58,19 @@
                 "warm",
                 "X-Org",
                 "warm");
-        List<HttpRequest> calls =
-                List.of(HttpRequest.get("/health/ready"), new HttpRequest("POST", "/" + cls, nowhere, new byte[64]));
-        step(io, own, self, calls, 0, io.clock.now() + WITHIN_NS, then);
+        List<HttpRequest> requests = List.of(
+                HttpRequest.get("/health/ready"),
+                new HttpRequest("POST", "/" + requestClass, unroutable, new byte[BODY_BYTES]));
+        new StartupWarmup(io, new EndpointAddress("self", address), requests, onDone).send(0);
     }
 
-    private static void step(
-            IoLoop io,
-            EndpointConnectionPool own,
-            EndpointAddress self,
-            List<HttpRequest> calls,
-            int n,
-            long by,
-            Runnable then) {
-        if (n == ROUNDS * calls.size() || io.clock.now() >= by) {
-            own.closeIdle(self);
-            then.run();
+    private void send(int sent) {
+        if (sent == ROUNDS * requests.size() || io.clock.now() >= deadlineNs) {
+            connections.closeIdle(self);
+            onDone.run();
             return;
         }
-        own.send(self, calls.get(n % calls.size()), by, by, reply -> step(io, own, self, calls, n + 1, by, then));
+        HttpRequest request = requests.get(sent % requests.size());
+        connections.send(self, request, deadlineNs, deadlineNs, reply -> send(sent + 1));
     }
 }
--- a/src/main/java/elderseam/handover/HandoverChannel.java
+++ b/src/main/java/elderseam/handover/HandoverChannel.java
@@ -1,152 +1,139 @@
 package elderseam.handover;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.Channels;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermissions;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 /**
- * One connection between two processes of a dispatcher, over a Unix domain socket in the folder that both have. XNIO has no such
- * sockets, so two threads of its own block on it, one for each way, and hand frames over; the I/O thread never waits for it.
+ * A connection between two processes of one dispatcher, over a Unix domain socket in the state directory that they
+ * share. XNIO has no such sockets, so each channel has a thread that writes, and one that reads where {@link
+ * #startReceiving} is used; both are daemons. {@link #send} never blocks and may be called from the I/O thread.
+ *
+ * <p>Each frame goes as a four-byte length and the bytes of {@link HandoverFrameCodec}. Any error closes the channel,
+ * and the receiver sees its end; no error is reported otherwise.
  */
-public final class HandoverChannel {
-    private static final String NAME = "handover";
-    private static final int MOST_WAITING = 8_192; // frames to be written; a link that is so far behind is ended
-    private static final HandoverFrame END = new HandoverFrame.Take(); // ends the writing thread; compared by identity
+public final class HandoverChannel implements Closeable {
+    private static final String SOCKET_FILE = "handover";
 
-    private final SocketChannel channel;
+    /** The longest path of a Unix domain socket that the kernel takes, in bytes. */
+    private static final int MAX_SOCKET_PATH_BYTES = 107;
+
+    /** Frames that wait to be written; a channel that falls further behind is closed. */
+    private static final int MAX_QUEUED_FRAMES = 8_192;
+
+    private static final int THREAD_STACK_BYTES = 128 << 10;
+
+    private final SocketChannel socket;
     private final DataInputStream in;
-    private final AtomicInteger unwritten = new AtomicInteger();
-    private final BlockingQueue<HandoverFrame> waiting = new LinkedBlockingQueue<>(MOST_WAITING);
+    private final AtomicInteger unwrittenFrames = new AtomicInteger();
 
-    private HandoverChannel(SocketChannel channel) {
-        this.channel = channel;
-        this.in = new DataInputStream(new BufferedInputStream(Channels.newInputStream(channel)));
-        thread("link out", this::write);
-    }
+    /** Frames to be written; an empty entry ends the writing thread. */
+    private final BlockingQueue<Optional<HandoverFrame>> outgoing = new LinkedBlockingQueue<>(MAX_QUEUED_FRAMES);
 
-    private static UnixDomainSocketAddress address(Path folder) {
-        return UnixDomainSocketAddress.of(folder.resolve(NAME));
+    HandoverChannel(SocketChannel socket) {
+        this.socket = socket;
+        this.in = new DataInputStream(new BufferedInputStream(Channels.newInputStream(socket)));
+        startThread("handover-writer", this::writeQueuedFrames);
     }
 
-    /** Whether the folder's path is short enough for a socket there: the kernel takes 107 bytes. */
-    public static boolean possible(Path folder) {
-        return address(folder).getPath().toString().getBytes(java.nio.charset.StandardCharsets.UTF_8).length <= 107;
+    /** Whether a socket is possible in this directory: the kernel bounds the length of its path. */
+    public static boolean isSupported(Path stateDirectory) {
+        String path = socketAddress(stateDirectory).getPath().toString();
+        return path.getBytes(StandardCharsets.UTF_8).length <= MAX_SOCKET_PATH_BYTES;
     }
 
-    /** To the process that owns the folder, or null where none answers; what a dead one left is nothing. */
-    public static HandoverChannel connect(Path folder) {
-        if (!Files.exists(folder.resolve(NAME))) {
-            return null;
+    /** A channel to the process that owns the directory; empty where none answers, as after the death of an owner. */
+    public static Optional<HandoverChannel> connect(Path stateDirectory) {
+        if (!isSupported(stateDirectory) || !Files.exists(stateDirectory.resolve(SOCKET_FILE))) {
+            return Optional.empty();
         }
         try {
-            return new HandoverChannel(SocketChannel.open(address(folder)));
+            return Optional.of(new HandoverChannel(SocketChannel.open(socketAddress(stateDirectory))));
         } catch (IOException e) {
-            return null;
+            return Optional.empty();
         }
     }
 
-    /** Takes one link after the other, on a thread of its own; each is handed over, and the next taken once it has ended. */
-    public static ServerSocketChannel listen(Path folder, Consumer<HandoverChannel> opened) throws IOException {
-        Files.deleteIfExists(
-                address(folder).getPath()); // the lock is held: it is of a dead process, or of one that has given
-        ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
-        server.bind(address(folder));
-        Files.setPosixFilePermissions(address(folder).getPath(), PosixFilePermissions.fromString("rw-------"));
-        thread("links", () -> {
-            try {
-                while (true) {
-                    opened.accept(new HandoverChannel(server.accept()));
-                }
-            } catch (IOException e) {
-                // closed: the folder is another's now
-            }
-        });
-        return server;
+    static UnixDomainSocketAddress socketAddress(Path stateDirectory) {
+        return UnixDomainSocketAddress.of(stateDirectory.resolve(SOCKET_FILE));
     }
 
-    private static void thread(String name, Runnable work) {
-        Thread t = new Thread(null, work, name, 128 << 10);
-        t.setDaemon(true);
-        t.start();
+    static void startThread(String name, Runnable task) {
+        Thread thread = new Thread(null, task, name, THREAD_STACK_BYTES);
+        thread.setDaemon(true);
+        thread.start();
     }
 
-    /** The next frame, awaited, or null at the link's end. Not for the I/O thread. */
-    public HandoverFrame await() {
+    /** Waits for the next frame; empty once the channel has ended. Blocks: not for the I/O thread. */
+    public Optional<HandoverFrame> receive() {
         try {
-            return next();
-        } catch (IOException | RuntimeException e) { // whatever is wrong with it ends it
+            return Optional.of(readFrame());
+        } catch (IOException e) {
             close();
-            return null;
+            return Optional.empty();
         }
     }
 
-    private HandoverFrame next() throws IOException {
+    private HandoverFrame readFrame() throws IOException {
         int length = in.readInt();
-        if (length <= 0 || length > HandoverFrame.MOST) {
-            throw new IOException("a frame of " + length + " bytes");
+        if (length <= 0 || length > HandoverFrameCodec.MAX_FRAME_BYTES) {
+            throw new HandoverProtocolException("a frame of " + length + " bytes");
         }
         byte[] bytes = in.readNBytes(length);
         if (bytes.length < length) {
-            throw new IOException("a frame that stops short");
+            throw new HandoverProtocolException("a frame that stops short");
         }
-        return HandoverFrame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
+        return HandoverFrameCodec.decode(bytes);
     }
 
-    /** Hands each frame over as it comes, and says when the link has ended; on the caller's thread, until then. */
-    public void read(Consumer<HandoverFrame> each, Runnable lost) {
-        for (HandoverFrame f = await(); f != null; f = await()) {
-            each.accept(f);
+    /** Delivers each frame as it comes, then reports the outcome. On the calling thread, which it blocks until then. */
+    public void receiveAll(Consumer<HandoverFrame> onFrame, Runnable onClosed) {
+        Optional<HandoverFrame> frame = receive();
+        while (frame.isPresent()) {
+            onFrame.accept(frame.get());
+            frame = receive();
         }
-        lost.run();
+        onClosed.run();
     }
 
-    /** The same, on a thread of its own. */
-    public void reading(Consumer<HandoverFrame> each, Runnable lost) {
-        thread("link in", () -> read(each, lost));
+    /** As {@link #receiveAll}, on a thread of its own. */
+    public void startReceiving(Consumer<HandoverFrame> onFrame, Runnable onClosed) {
+        startThread("handover-reader", () -> receiveAll(onFrame, onClosed));
     }
 
-    /** Sends a frame soon; never blocks. */
+    /** Queues a frame to be written soon. Never blocks; a full queue closes the channel. */
     public void send(HandoverFrame frame) {
-        unwritten.incrementAndGet();
-        if (!waiting.offer(frame)) {
+        unwrittenFrames.incrementAndGet();
+        if (!outgoing.offer(Optional.of(frame))) {
             close();
         }
     }
 
-    /** Whether all that was sent is written. */
-    public boolean flushed() {
-        return unwritten.get() == 0;
+    /** Whether every frame that was sent is written. */
+    public boolean isFlushed() {
+        return unwrittenFrames.get() == 0;
     }
 
-    private void write() {
+    private void writeQueuedFrames() {
         try {
-            for (HandoverFrame f = waiting.take(); f != END; f = waiting.take()) {
-                ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
-                f.to(new DataOutputStream(bytes));
-                ByteBuffer out = ByteBuffer.allocate(4 + bytes.size())
-                        .putInt(bytes.size())
-                        .put(bytes.toByteArray())
-                        .flip();
-                while (out.hasRemaining()) {
-                    channel.write(out);
-                }
-                unwritten.decrementAndGet();
+            Optional<HandoverFrame> frame = outgoing.take();
+            while (frame.isPresent()) {
+                writeFrame(frame.get());
+                unwrittenFrames.decrementAndGet();
+                frame = outgoing.take();
             }
         } catch (IOException e) {
             close();
@@ -155,14 +142,25 @@
         }
     }
 
+    private void writeFrame(HandoverFrame frame) throws IOException {
+        byte[] bytes = HandoverFrameCodec.encode(frame);
+        ByteBuffer buffer = ByteBuffer.allocate(Integer.BYTES + bytes.length);
+        buffer.putInt(bytes.length).put(bytes).flip();
+        while (buffer.hasRemaining()) {
+            socket.write(buffer);
+        }
+    }
+
+    /** Closes the connection and ends its threads; frames that are not written yet are dropped. May be called again. */
+    @Override
     public void close() {
-        waiting.clear();
-        unwritten.set(0);
-        waiting.offer(END);
+        outgoing.clear();
+        unwrittenFrames.set(0);
+        outgoing.offer(Optional.empty());
         try {
-            channel.close();
+            socket.close();
         } catch (IOException e) {
-            // closed is closed
+            // There is nothing left to do for a connection that can't even be closed.
         }
     }
 }
--- a/src/main/java/elderseam/handover/HandoverSender.java
+++ b/src/main/java/elderseam/handover/HandoverSender.java
@@ -1,55 +1,67 @@
 package elderseam.handover;
 
 /**
- * The older process's part of a hand-over, as decisions without I/O: each event gives the step that follows, whatever the order
- * in which events come. One thread owns it.
+ * The older process's part of a handover, as a state machine without I/O: each event returns the action that follows,
+ * in whatever order events come. {@link HandoverReceiver} is the counterpart. Not thread-safe: confined to one thread.
  */
 public final class HandoverSender {
-    /** OWNER until asked; GIVEN while the newer process takes over and may yet fail; GONE once it has. */
+    /** Where the older process stands. */
     public enum State {
+        /** It owns the work. */
         OWNER,
-        GIVEN,
-        GONE
+        /** It has sent its state and released the lock; the newer process may still fail. */
+        TRANSFERRING,
+        /** The newer process owns the work, for good. */
+        TRANSFERRED
     }
 
-    /** GIVE: stop, let the folder go and tell all. RESUME: own it again. LEAVE: the other one has it; settle and end.
-     *  FAIL: nobody serves any more; end, so that the platform starts one. */
-    public enum Step {
+    /** What the older process does next. */
+    public enum Action {
         NONE,
-        GIVE,
+        /** Stop serving, release the lock and send the state. */
+        TRANSFER,
+        /** The newer process failed: acquire the lock again and go on serving. */
         RESUME,
-        LEAVE,
+        /** The newer process owns the work: settle what is in flight and exit. */
+        RETIRE,
+        /** The new owner is gone and nobody serves: exit with an error, so that the platform starts a process. */
         FAIL
     }
 
     private State state = State.OWNER;
 
+    /** The current state. */
     public State state() {
         return state;
     }
 
-    /** The newer process is warm and asks. */
-    public Step asked() {
+    /** The newer process asked for the state. */
+    public Action onTransferRequested() {
         if (state != State.OWNER) {
-            return Step.NONE;
+            return Action.NONE;
         }
-        state = State.GIVEN;
-        return Step.GIVE;
+        state = State.TRANSFERRING;
+        return Action.TRANSFER;
     }
 
-    /** It says that it owns the folder. */
-    public Step owned() {
-        if (state != State.GIVEN) {
-            return Step.NONE;
+    /** The newer process confirmed that it owns the work. */
+    public Action onOwnershipConfirmed() {
+        if (state != State.TRANSFERRING) {
+            return Action.NONE;
         }
-        state = State.GONE;
-        return Step.LEAVE;
+        state = State.TRANSFERRED;
+        return Action.RETIRE;
     }
 
-    /** The link has ended, by the death of the newer process or by its own doing. */
-    public Step lost() {
-        Step step = state == State.GIVEN ? Step.RESUME : state == State.GONE ? Step.FAIL : Step.NONE;
-        state = state == State.GIVEN ? State.OWNER : state;
-        return step;
+    /** The channel has ended, be it that the newer process died or closed it. */
+    public Action onChannelClosed() {
+        return switch (state) {
+            case OWNER -> Action.NONE;
+            case TRANSFERRING -> {
+                state = State.OWNER;
+                yield Action.RESUME;
+            }
+            case TRANSFERRED -> Action.FAIL;
+        };
     }
 }
--- a/src/main/java/elderseam/handover/OwnershipLock.java
+++ b/src/main/java/elderseam/handover/OwnershipLock.java
@@ -9,30 +9,41 @@
 import java.nio.file.StandardOpenOption;
 
 /**
- * The lock on an empty file of the folder: whoever holds it owns journal, module and list. The kernel lets it go with the process
- * that held it, however that ended, so no owner that is dead keeps a new one out.
+ * A file lock in the state directory. The process that holds it owns the journal, the policy's state and the endpoint
+ * list. The kernel releases it when the process ends, however that comes about, so a dead owner never keeps a new one
+ * out.
+ *
+ * <p>Not thread-safe: one thread at a time uses it. Its file stays open as long as the process lives.
  */
 public final class OwnershipLock {
+    private static final String LOCK_FILE = "owner";
+
     private final FileChannel file;
     private FileLock lock;
 
-    public OwnershipLock(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        file = FileChannel.open(folder.resolve("owner"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    /**
+     * Opens the lock file and creates it, and the directory, where they are missing. Does not acquire the lock.
+     *
+     * @throws IOException if the directory can't be used
+     */
+    public OwnershipLock(Path stateDirectory) throws IOException {
+        Files.createDirectories(stateDirectory);
+        file = FileChannel.open(stateDirectory.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     }
 
-    /** Whether this process holds it now. */
-    public boolean take() throws IOException {
+    /** Acquires the lock unless it is held already; whether this object holds it now. Does not wait. */
+    public boolean tryAcquire() throws IOException {
         if (lock == null) {
             try {
                 lock = file.tryLock();
             } catch (OverlappingFileLockException e) {
-                return false; // another dispatcher of the same process, as in a training run
+                return false; // another dispatcher in the same process holds it, as in a training run
             }
         }
         return lock != null;
     }
 
+    /** Releases the lock; nothing happens where it is not held. */
     public void release() throws IOException {
         if (lock != null) {
             lock.release();
--- a/src/main/java/elderseam/testkit/TestKitLauncher.java
+++ b/src/main/java/elderseam/testkit/TestKitLauncher.java
@@ -8,12 +8,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 
-/** What is started for rehearsals alone; apart, so that a dispatcher loads none of it. */
+/** Starts what exists for tests and rehearsals alone. Apart from the server, so that a dispatcher loads none of it. */
 public final class TestKitLauncher {
     private TestKitLauncher() {}
 
-    /** The same decisions on the simulator's wire. */
-    public static void simulate() throws IOException {
+    /**
+     * Runs the policy on the simulator's protocol, over standard input and output, until the simulator ends it. A fault of the
+     * protocol ends the process with 1.
+     *
+     * @throws IOException if standard input or output fails
+     */
+    public static void runSimulatorHost() throws IOException {
         try {
             new SimulatorHost(System.in, System.out).run();
         } catch (WireException e) {
@@ -22,8 +27,14 @@
         }
     }
 
-    /** Starts the stand-in authority and tells where its directory is. */
-    public static void authority(InetSocketAddress address, int challengePort) throws IOException {
+    /**
+     * Starts the stand-in ACME authority on threads of its own, and prints where its directory is.
+     *
+     * @param address where it listens
+     * @param challengePort where it looks for the answers to its challenges
+     * @throws IOException if the address can't be used
+     */
+    public static void startAcmeAuthority(InetSocketAddress address, int challengePort) throws IOException {
         String directory = new StandInAuthority(new IoLoop(new Clock()), address, challengePort).directory();
         System.err.println("directory at " + directory);
     }
--- a/src/test/java/elderseam/app/CertificateLogCompatTest.java
+++ b/src/test/java/elderseam/app/CertificateLogCompatTest.java
@@ -12,17 +12,19 @@
 /** What the holder of the certificate's lease publishes in the group's log. */
 class CertificateLogCompatTest {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final List<LeasedCertificateOrder.Passed> PASSED = List.of(
-            new LeasedCertificateOrder.Passed("", Map.of("token-1", "token-1.thumbprint")),
-            new LeasedCertificateOrder.Passed("c2VhbGVk", Map.of()));
+    private static final List<LeasedCertificateOrder.Publication> PUBLICATIONS = List.of(
+            new LeasedCertificateOrder.Publication("", Map.of("token-1", "token-1.thumbprint")),
+            new LeasedCertificateOrder.Publication("c2VhbGVk", Map.of()));
 
     @Test
-    void passedCertificates() throws IOException {
-        List<String> written = List.of(JSON.writeValueAsString(PASSED.get(0)), JSON.writeValueAsString(PASSED.get(1)));
+    void publishedCertificates() throws IOException {
+        List<String> written =
+                List.of(JSON.writeValueAsString(PUBLICATIONS.get(0)), JSON.writeValueAsString(PUBLICATIONS.get(1)));
         List<String> recorded = RecordedBytes.lines("lease/passed-certificates", written);
         assertEquals(recorded, written);
-        for (int i = 0; i < PASSED.size(); i++) {
-            assertEquals(PASSED.get(i), JSON.readValue(recorded.get(i), LeasedCertificateOrder.Passed.class));
+        for (int i = 0; i < PUBLICATIONS.size(); i++) {
+            assertEquals(
+                    PUBLICATIONS.get(i), JSON.readValue(recorded.get(i), LeasedCertificateOrder.Publication.class));
         }
     }
 }
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -28,6 +28,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,7 +39,7 @@
 @Timeout(30)
 class HandoverFormatTest {
     private static final String FRAMES = "handover/frames.hex";
-    private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
+    private static final HandoverFrame.StateTransfer GIVE = new HandoverFrame.StateTransfer(
             "{\"version\":3,\"zone\":\"Österreich\"}",
             new State(
                     new byte[] {1, -2, 3},
@@ -50,30 +51,33 @@
 
     private ServerSocketChannel server;
     private SocketChannel older;
-    private HandoverChannel link;
+    private HandoverChannel channel;
 
     @BeforeEach
     void connect() throws IOException {
         server = ServerSocketChannel.open(StandardProtocolFamily.UNIX)
                 .bind(UnixDomainSocketAddress.of(folder.resolve("handover")));
-        link = HandoverChannel.connect(folder);
+        channel = HandoverChannel.connect(folder).orElseThrow();
         older = server.accept();
     }
 
     @AfterEach
     void close() throws IOException {
-        link.close();
+        channel.close();
         older.close();
         server.close();
     }
 
     /** Every kind of frame, and an end with every progress and status, in the order of the resource. */
     private static List<HandoverFrame> frames() {
-        List<HandoverFrame> all = new ArrayList<>(
-                List.of(new HandoverFrame.Take(), GIVE, new HandoverFrame.Owned(), new HandoverFrame.Abandon("m1", 3)));
+        List<HandoverFrame> all = new ArrayList<>(List.of(
+                new HandoverFrame.TransferRequest(),
+                GIVE,
+                new HandoverFrame.OwnershipConfirmed(),
+                new HandoverFrame.AttemptCancellation("m1", 3)));
         for (Progress p :
                 List.of(Progress.NOT_CONNECTED, Progress.PARTLY_WRITTEN, Progress.WRITTEN, Progress.ANSWERED)) {
-            all.add(new HandoverFrame.Ended(
+            all.add(new HandoverFrame.AttemptCompletion(
                     new ForwardedOutcome("m1", 2, "a1", false, new AttemptOutcome(p, Status.BROKEN, 0, 0, 0))));
         }
         for (Status s : List.of(
@@ -87,7 +91,7 @@
                 Status.TIMED_OUT,
                 Status.ABANDONED,
                 Status.HELD)) {
-            all.add(new HandoverFrame.Ended(
+            all.add(new HandoverFrame.AttemptCompletion(
                     new ForwardedOutcome("m2", 5, "b1", true, new AttemptOutcome(Progress.ANSWERED, s, 9, 0.25, 30))));
         }
         return all;
@@ -102,18 +106,18 @@
     private void olderReads(byte[] record) throws IOException {
         ByteBuffer b = ByteBuffer.allocate(record.length);
         while (b.hasRemaining()) {
-            assertTrue(older.read(b) >= 0, "the link has ended");
+            assertTrue(older.read(b) >= 0, "the channel has ended");
         }
         assertArrayEquals(record, b.array());
     }
 
     /** Records hold arrays, so that a Give is compared by its parts. */
     private static void assertSame(HandoverFrame expected, HandoverFrame actual) {
-        if (expected instanceof HandoverFrame.Give e && actual instanceof HandoverFrame.Give a) {
-            assertArrayEquals(e.estate().policySnapshot(), a.estate().policySnapshot());
+        if (expected instanceof HandoverFrame.StateTransfer e && actual instanceof HandoverFrame.StateTransfer a) {
+            assertArrayEquals(e.state().policySnapshot(), a.state().policySnapshot());
             assertEquals(
-                    List.of(e.list(), e.estate().inFlight(), e.drains()),
-                    List.of(a.list(), a.estate().inFlight(), a.drains()));
+                    List.of(e.endpointList(), e.state().inFlight(), e.draining()),
+                    List.of(a.endpointList(), a.state().inFlight(), a.draining()));
         } else {
             assertEquals(expected, actual);
         }
@@ -130,8 +134,8 @@
         assertEquals(frames.size(), records.size());
         for (int i = 0; i < frames.size(); i++) {
             olderSends(records.get(i));
-            assertSame(frames.get(i), link.await());
-            link.send(frames.get(i));
+            assertSame(frames.get(i), channel.receive().orElseThrow());
+            channel.send(frames.get(i));
             olderReads(records.get(i));
         }
     }
@@ -172,41 +176,44 @@
         OlderProcess.recordIfWanted();
         List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER),
                 toOlder = Recorded.records(OlderProcess.TO_OLDER);
-        HandoverReceiver taking = new HandoverReceiver();
-        assertEquals(HandoverReceiver.Step.WARM, taking.looked(true, false));
-        assertEquals(HandoverReceiver.Step.ASK, taking.warm());
-        link.send(new HandoverFrame.Take());
+        HandoverReceiver receiver = new HandoverReceiver();
+        assertEquals(HandoverReceiver.Action.WARM_UP, receiver.onSearched(true, false));
+        assertEquals(HandoverReceiver.Action.REQUEST, receiver.onWarmedUp());
+        channel.send(new HandoverFrame.TransferRequest());
         olderReads(toOlder.get(0));
         olderSends(toNewer.get(0));
-        HandoverFrame.Give given = (HandoverFrame.Give) link.await();
-        assertEquals(HandoverReceiver.Step.TAKE, taking.given(true));
-        assertTakesOverAll(given.estate());
+        HandoverFrame.StateTransfer given =
+                (HandoverFrame.StateTransfer) channel.receive().orElseThrow();
+        assertEquals(HandoverReceiver.Action.TAKE_OVER, receiver.onStateReceived(true));
+        assertTakesOverAll(given.state());
 
         CoreProcess newer = newer(Recorded.bytes(OlderProcess.JOURNAL));
         Handover handover = newer.relay.handover();
-        handover.takeOver(given.estate(), o -> link.send(new HandoverFrame.Abandon(o.requestId(), o.attempt())));
-        newer.discovery.takenOver(JsonValue.read(given.list().getBytes(StandardCharsets.UTF_8)));
-        assertEquals(given.list(), newer.discovery.list());
+        handover.takeOver(
+                given.state(), o -> channel.send(new HandoverFrame.AttemptCancellation(o.requestId(), o.attempt())));
+        newer.discovery.takenOver(JsonValue.read(given.endpointList().getBytes(StandardCharsets.UTF_8)));
+        assertEquals(given.endpointList(), newer.discovery.list());
         List<String> breakers = new ArrayList<>();
         newer.relay.forEachBreaker(
                 (destination, b) -> breakers.add(destination + " " + b.standing() + (b.waitNs() > 0 ? " waits" : "")));
         assertEquals(
                 List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"),
                 breakers.stream().sorted().toList());
-        assertTrue(given.drains());
-        link.send(new HandoverFrame.Owned());
+        assertTrue(given.draining());
+        channel.send(new HandoverFrame.OwnershipConfirmed());
         olderReads(toOlder.get(1));
         newer.relay.recover(() -> 0, () -> {});
         handover.cancelAttempt("late", 0);
         olderReads(toOlder.get(2));
         for (byte[] record : toNewer.subList(1, toNewer.size())) {
             olderSends(record);
-            handover.outcomeForwarded(((HandoverFrame.Ended) link.await()).passed());
+            handover.outcomeForwarded(
+                    ((HandoverFrame.AttemptCompletion) channel.receive().orElseThrow()).attempt());
             newer.pass(0);
         }
         older.close();
-        assertEquals(null, link.await());
-        assertEquals(HandoverReceiver.Step.SETTLE, taking.lost());
+        assertEquals(Optional.empty(), channel.receive());
+        assertEquals(HandoverReceiver.Action.SETTLE, receiver.onChannelClosed());
         handover.predecessorGone();
         newer.pass(300 * Clock.MS);
         for (String id : List.of("lead", "copy", "late")) {
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -7,15 +7,14 @@
 import elderseam.core.Handover;
 import elderseam.core.InMemoryJournalStore;
 import elderseam.handover.HandoverFrame;
-import java.io.ByteArrayOutputStream;
-import java.io.DataOutputStream;
+import elderseam.handover.HandoverFrameCodec;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
-/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
+/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@channel Recorded}. */
 public final class OlderProcess {
     public static final String LEARNED = "learned/file.hex";
     static final String JOURNAL = "handover/journal.hex",
@@ -79,26 +78,26 @@
     /** What it sends once it is asked, to a newer process that has it give up the call of "late". */
     private List<HandoverFrame> passesOn() {
         List<HandoverFrame> sent = new ArrayList<>();
-        Handover.State estate = process.relay.handover().transferTo(p -> sent.add(new HandoverFrame.Ended(p)));
-        sent.add(new HandoverFrame.Give(process.discovery.list(), estate, true));
+        Handover.State estate =
+                process.relay.handover().transferTo(p -> sent.add(new HandoverFrame.AttemptCompletion(p)));
+        sent.add(new HandoverFrame.StateTransfer(process.discovery.list(), estate, true));
         process.ends("lead", CoreProcess.DELIVERED);
         process.relay.handover().cancelAttempt("late", 0);
         process.attempts.get("late").answeredLate(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
         return sent;
     }
 
-    /** A frame as the link carries it, after its length. */
+    /** A frame as the channel carries it, after its length. */
     static byte[] sent(HandoverFrame frame) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
-            frame.to(new DataOutputStream(bytes));
+            byte[] bytes = HandoverFrameCodec.encode(frame);
+            return ByteBuffer.allocate(Integer.BYTES + bytes.length)
+                    .putInt(bytes.length)
+                    .put(bytes)
+                    .array();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return ByteBuffer.allocate(4 + bytes.size())
-                .putInt(bytes.size())
-                .put(bytes.toByteArray())
-                .array();
     }
 
     /** Its journal when it passed its work on, the file of what it had learned, and what travels both ways. */
@@ -114,8 +113,8 @@
         Recorded.assertRecords(
                 TO_OLDER,
                 List.of(
-                        sent(new HandoverFrame.Take()),
-                        sent(new HandoverFrame.Owned()),
-                        sent(new HandoverFrame.Abandon("late", 0))));
+                        sent(new HandoverFrame.TransferRequest()),
+                        sent(new HandoverFrame.OwnershipConfirmed()),
+                        sent(new HandoverFrame.AttemptCancellation("late", 0))));
     }
 }
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -154,7 +154,7 @@
 
     @Test
     void theFilesHaveTheirNames(@TempDir Path folder) throws IOException {
-        new OwnershipLock(folder).take();
+        new OwnershipLock(folder).tryAcquire();
         Journal journal = new Journal(folder, CAP, clock);
         new PolicySnapshotStore(journal.aside("learned"), SHAPE).save(new byte[1]);
         journal.close();
