--- a/src/test/java/elderseam/handover/HandoverChannelTest.java
+++ b/src/test/java/elderseam/handover/HandoverChannelTest.java
@@ -1,21 +1,12 @@
 package elderseam.handover;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.AttemptOutcome;
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Handover;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
@@ -23,96 +14,72 @@
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The link between two processes, and what travels on it. */
+/** The connection between two processes: frames both ways, malformed input, and sockets that a dead process left. */
 class HandoverChannelTest {
-    private static final Handover.ForwardedOutcome PASSED = new Handover.ForwardedOutcome(
-            "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.FULL, 7, 0.5, 3));
-    private static final HandoverFrame.Give GIVE = new HandoverFrame.Give(
-            "{\"name\":\"Österreich\"}",
-            new Handover.State(new byte[] {1, 2, 3}, List.of(new Handover.InFlightAttempt("a", 1, "h", 5))),
-            true);
+    private static final long TIMEOUT_S = 5;
+    private static final String CLOSED = "closed";
+    private static final HandoverFrame REQUEST = new HandoverFrame.TransferRequest();
+    private static final HandoverFrame COMPLETION = new HandoverFrame.AttemptCompletion(new Handover.ForwardedOutcome(
+            "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.FULL, 7, 0.5, 3)));
+
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
     @TempDir
-    Path folder;
+    Path directory;
 
-    private static byte[] bytes(HandoverFrame f) throws IOException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        f.to(new DataOutputStream(out));
-        return out.toByteArray();
-    }
+    private Path socket;
 
-    private static HandoverFrame read(byte[] bytes) throws IOException {
-        return HandoverFrame.from(new DataInputStream(new ByteArrayInputStream(bytes)));
+    @BeforeEach
+    void nameSocket() {
+        socket = directory.resolve("handover");
     }
 
-    @Test
-    void framesComeThroughWhole() throws Exception {
-        for (HandoverFrame f : List.of(
-                new HandoverFrame.Take(),
-                new HandoverFrame.Owned(),
-                new HandoverFrame.Abandon("m", 3),
-                new HandoverFrame.Ended(PASSED))) {
-            assertEquals(f, read(bytes(f)));
-        }
-        HandoverFrame.Give back = (HandoverFrame.Give) read(bytes(GIVE));
-        assertEquals(GIVE.list(), back.list());
-        assertEquals(GIVE.estate().inFlight(), back.estate().inFlight());
-        assertArrayEquals(GIVE.estate().policySnapshot(), back.estate().policySnapshot());
-        assertTrue(back.drains());
+    private void recordFrames(HandoverChannel channel) {
+        channel.receiveAll(frame -> received.add(frame.toString()), () -> received.add(CLOSED));
     }
 
-    @Test
-    void anotherVersionOrHalfAFrameIsRefused() throws Exception {
-        byte[] other = bytes(GIVE);
-        other[0]++;
-        assertThrows(IOException.class, () -> read(other));
-        byte[] whole = bytes(GIVE);
-        for (int n = 0; n < whole.length; n++) {
-            byte[] half = java.util.Arrays.copyOf(whole, n);
-            assertThrows(IOException.class, () -> read(half));
-        }
+    private String nextReceived() throws InterruptedException {
+        return received.poll(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
     @Test
     void framesPassBothWaysAndAnEndIsSeen() throws Exception {
-        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        BlockingQueue<HandoverChannel> older = new LinkedBlockingQueue<>();
-        try (ServerSocketChannel server = HandoverChannel.listen(folder, l -> {
-            older.add(l);
-            l.read(f -> seen.add(f.toString()), () -> seen.add("lost"));
+        BlockingQueue<HandoverChannel> accepted = new LinkedBlockingQueue<>();
+        try (HandoverListener listener = HandoverListener.open(directory, channel -> {
+            accepted.add(channel);
+            recordFrames(channel);
         })) {
-            assertTrue(server.isOpen());
-            HandoverChannel link = HandoverChannel.connect(folder);
-            link.send(new HandoverFrame.Take());
-            assertEquals(new HandoverFrame.Take().toString(), seen.poll(5, TimeUnit.SECONDS));
-            older.take().send(new HandoverFrame.Ended(PASSED));
-            assertEquals(new HandoverFrame.Ended(PASSED), link.await());
-            link.close();
-            assertEquals("lost", seen.poll(5, TimeUnit.SECONDS));
-            assertNull(link.await());
+            assertTrue(listener.isOpen());
+            HandoverChannel channel = HandoverChannel.connect(directory).orElseThrow();
+            channel.send(REQUEST);
+            assertEquals(REQUEST.toString(), nextReceived());
+            accepted.take().send(COMPLETION);
+            assertEquals(Optional.of(COMPLETION), channel.receive());
+            channel.close();
+            assertEquals(CLOSED, nextReceived());
+            assertEquals(Optional.empty(), channel.receive());
         }
     }
 
-    /** A length that is none, and a frame that stops short, end the link and nothing else. */
+    /** An impossible length, and a frame that stops short, end their channel; the next one is accepted all the same. */
     @Test
-    void noiseEndsTheLink() throws Exception {
-        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        try (ServerSocketChannel server =
-                HandoverChannel.listen(folder, l -> l.read(f -> seen.add(f.toString()), () -> seen.add("lost")))) {
-            assertTrue(server.isOpen());
-            for (int length : new int[] {-1, 0, HandoverFrame.MOST + 1, 100}) {
-                try (SocketChannel raw = SocketChannel.open(UnixDomainSocketAddress.of(folder.resolve("handover")))) {
+    void malformedInputEndsTheChannel() throws Exception {
+        try (HandoverListener listener = HandoverListener.open(directory, this::recordFrames)) {
+            assertTrue(listener.isOpen());
+            for (int length : new int[] {-1, 0, HandoverFrameCodec.MAX_FRAME_BYTES + 1, 100}) {
+                try (SocketChannel raw = SocketChannel.open(UnixDomainSocketAddress.of(socket))) {
                     raw.write(
                             ByteBuffer.allocate(5).putInt(length).put((byte) 1).flip());
                     raw.shutdownOutput();
-                    assertEquals("lost", seen.poll(5, TimeUnit.SECONDS), "length " + length);
+                    assertEquals(CLOSED, nextReceived(), "length " + length);
                 }
             }
         }
@@ -120,27 +87,16 @@
 
     /** What a dead process left: a socket that nobody listens on, or no socket at all. */
     @Test
-    void aStaleSocketIsNobodysAndIsReplaced() throws Exception {
-        assertNull(HandoverChannel.connect(folder));
+    void aStaleSocketAnswersNobodyAndIsReplaced() throws Exception {
+        assertEquals(Optional.empty(), HandoverChannel.connect(directory));
         ServerSocketChannel.open(StandardProtocolFamily.UNIX)
-                .bind(UnixDomainSocketAddress.of(folder.resolve("handover")))
+                .bind(UnixDomainSocketAddress.of(socket))
                 .close();
-        assertTrue(Files.exists(folder.resolve("handover")));
-        assertNull(HandoverChannel.connect(folder));
-        HandoverChannel.listen(folder, HandoverChannel::close).close();
-        Files.delete(folder.resolve("handover"));
-        Files.writeString(folder.resolve("handover"), "half");
-        assertNull(HandoverChannel.connect(folder));
-    }
-
-    /** The lock is one owner's alone, and free once it is let go. */
-    @Test
-    void theFolderHasOneOwner() throws Exception {
-        OwnershipLock one = new OwnershipLock(folder), other = new OwnershipLock(folder);
-        assertTrue(one.take());
-        assertTrue(one.take());
-        assertFalse(other.take());
-        one.release();
-        assertTrue(other.take());
+        assertTrue(Files.exists(socket));
+        assertEquals(Optional.empty(), HandoverChannel.connect(directory));
+        HandoverListener.open(directory, HandoverChannel::close).close();
+        Files.delete(socket);
+        Files.writeString(socket, "half");
+        assertEquals(Optional.empty(), HandoverChannel.connect(directory));
     }
 }
--- a/src/test/java/elderseam/handover/HandoverModelTest.java
+++ b/src/test/java/elderseam/handover/HandoverModelTest.java
@@ -11,144 +11,191 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** The decisions of a hand-over at every order of its events: both processes, the lock and the link between them, no sockets. */
+/**
+ * Model check of a handover: the two state machines, the lock and the channel between them are run through every order
+ * of events, without sockets. At no point may both processes own the work, and none where a process lives that could.
+ */
 class HandoverModelTest {
+    private static final int MIN_STATES = 50;
+    private static final int MIN_FINAL_STATES = 5;
+
     private enum Event {
-        LOOK,
-        WARM,
-        TO_OLD,
-        TO_NEW,
-        LOSE,
-        KILL_OLD,
-        KILL_NEW,
-        REGAIN
+        SEARCH,
+        WARM_UP,
+        DELIVER_TO_OLDER,
+        DELIVER_TO_NEWER,
+        LOSE_CHANNEL,
+        KILL_OLDER,
+        KILL_NEWER,
+        RELOCK;
+
+        /** Whether it comes from outside; all others happen by themselves. */
+        boolean isFault() {
+            return this == LOSE_CHANNEL || this == KILL_OLDER || this == KILL_NEWER;
+        }
+    }
+
+    private enum Frame {
+        REQUEST,
+        STATE,
+        CONFIRMATION
+    }
+
+    private enum LockHolder {
+        NOBODY,
+        OLDER,
+        NEWER
     }
 
-    /** The world after some events, played anew for each order. */
+    /** Both processes after some events; each order of events is played on a fresh one. */
     private static final class World {
-        final HandoverSender giving = new HandoverSender();
-        final HandoverReceiver taking = new HandoverReceiver();
-        final ArrayDeque<String> toOld = new ArrayDeque<>(), toNew = new ArrayDeque<>();
-        boolean oldAlive = true, newAlive = true, linked, oldSawEnd = true, newSawEnd = true, regaining, resumed;
-        String lock = "old";
+        final HandoverSender sender = new HandoverSender();
+        final HandoverReceiver receiver = new HandoverReceiver();
+        final ArrayDeque<Frame> toOlder = new ArrayDeque<>();
+        final ArrayDeque<Frame> toNewer = new ArrayDeque<>();
+        boolean olderAlive = true;
+        boolean newerAlive = true;
+        boolean connected;
+        boolean olderSawEnd = true;
+        boolean newerSawEnd = true;
+        boolean relocking;
+        boolean resumed;
+        LockHolder lock = LockHolder.OLDER;
 
-        boolean oldOwns() {
-            return oldAlive && giving.state() == HandoverSender.State.OWNER && !regaining;
+        static World after(List<Event> events) {
+            World world = new World();
+            events.forEach(world::apply);
+            return world;
         }
 
-        boolean newOwns() {
-            return newAlive && taking.state() == HandoverReceiver.State.OWNER;
+        boolean olderOwns() {
+            return olderAlive && sender.state() == HandoverSender.State.OWNER && !relocking;
         }
 
-        private void lose() {
-            linked = false;
-            oldSawEnd = newSawEnd = false;
+        boolean newerOwns() {
+            return newerAlive && receiver.state() == HandoverReceiver.State.OWNER;
         }
 
-        private boolean possible(Event e) {
-            return switch (e) {
-                case LOOK -> newAlive && taking.state() == HandoverReceiver.State.SEEKING && newSawEnd;
-                case WARM -> newAlive && taking.state() == HandoverReceiver.State.WARMING;
-                case TO_OLD ->
-                    oldAlive && (linked ? !toOld.isEmpty() : !oldSawEnd); // what was written is read, also after
-                case TO_NEW ->
-                    newAlive && (linked ? !toNew.isEmpty() : !newSawEnd); // the other's end; then that end is seen
-                case LOSE -> linked;
-                case KILL_OLD -> oldAlive;
-                case KILL_NEW -> newAlive;
-                case REGAIN -> oldAlive && regaining && lock.isEmpty();
+        private boolean isPossible(Event event) {
+            return switch (event) {
+                case SEARCH -> newerAlive && receiver.state() == HandoverReceiver.State.SEARCHING && newerSawEnd;
+                case WARM_UP -> newerAlive && receiver.state() == HandoverReceiver.State.WARMING_UP;
+                // Frames that were written are read also after the other's end; then that end is seen.
+                case DELIVER_TO_OLDER -> olderAlive && (connected ? !toOlder.isEmpty() : !olderSawEnd);
+                case DELIVER_TO_NEWER -> newerAlive && (connected ? !toNewer.isEmpty() : !newerSawEnd);
+                case LOSE_CHANNEL -> connected;
+                case KILL_OLDER -> olderAlive;
+                case KILL_NEWER -> newerAlive;
+                case RELOCK -> olderAlive && relocking && lock == LockHolder.NOBODY;
             };
         }
 
-        /** False where it can't happen now. */
-        boolean happens(Event e) {
-            if (!possible(e)) {
+        /** Plays the event; false where it can't happen now. */
+        boolean apply(Event event) {
+            if (!isPossible(event)) {
                 return false;
             }
-            switch (e) {
-                case LOOK -> look();
-                case WARM -> {
-                    assertEquals(HandoverReceiver.Step.ASK, taking.warm());
-                    toOld.add("take");
+            switch (event) {
+                case SEARCH -> search();
+                case WARM_UP -> {
+                    assertEquals(HandoverReceiver.Action.REQUEST, receiver.onWarmedUp());
+                    toOlder.add(Frame.REQUEST);
                 }
-                case TO_OLD -> old(toOld.poll());
-                case TO_NEW -> fresh(toNew.poll());
-                case LOSE -> lose();
-                case KILL_OLD -> {
-                    oldAlive = false;
-                    dies("old");
+                case DELIVER_TO_OLDER -> deliverToOlder(toOlder.poll());
+                case DELIVER_TO_NEWER -> deliverToNewer(toNewer.poll());
+                case LOSE_CHANNEL -> loseChannel();
+                case KILL_OLDER -> {
+                    olderAlive = false;
+                    die(LockHolder.OLDER);
                 }
-                case KILL_NEW -> {
-                    newAlive = false;
-                    dies("new");
+                case KILL_NEWER -> {
+                    newerAlive = false;
+                    die(LockHolder.NEWER);
                 }
-                case REGAIN -> {
-                    lock = "old";
-                    regaining = false;
+                case RELOCK -> {
+                    lock = LockHolder.OLDER;
+                    relocking = false;
                     resumed = true;
                 }
             }
             return true;
         }
 
-        private void look() {
-            boolean link = oldAlive && giving.state() == HandoverSender.State.OWNER && !regaining && oldSawEnd;
-            boolean locked = !link && lock.isEmpty();
-            lock = locked ? "new" : lock;
-            assertEquals(
-                    link
-                            ? HandoverReceiver.Step.WARM
-                            : locked ? HandoverReceiver.Step.RECOVER : HandoverReceiver.Step.LOOK_AGAIN,
-                    taking.looked(link, locked));
-            if (link) {
-                linked = true;
-                toOld.clear();
-                toNew.clear();
+        private void search() {
+            boolean connects = olderAlive && sender.state() == HandoverSender.State.OWNER && !relocking && olderSawEnd;
+            boolean locked = !connects && lockForNewer();
+            HandoverReceiver.Action expected = HandoverReceiver.Action.RETRY;
+            if (connects) {
+                expected = HandoverReceiver.Action.WARM_UP;
+            } else if (locked) {
+                expected = HandoverReceiver.Action.RECOVER;
+            }
+            assertEquals(expected, receiver.onSearched(connects, locked));
+            if (connects) {
+                connected = true;
+                toOlder.clear();
+                toNewer.clear();
             }
         }
 
-        private void dies(String who) {
-            lock = lock.equals(who) ? "" : lock;
-            if (linked) {
-                lose();
+        private boolean lockForNewer() {
+            if (lock != LockHolder.NOBODY) {
+                return false;
             }
+            lock = LockHolder.NEWER;
+            return true;
+        }
+
+        private void loseChannel() {
+            connected = false;
+            olderSawEnd = false;
+            newerSawEnd = false;
         }
 
-        private void old(String frame) {
+        private void die(LockHolder who) {
+            if (lock == who) {
+                lock = LockHolder.NOBODY;
+            }
+            if (connected) {
+                loseChannel();
+            }
+        }
+
+        /** {@code frame}: null for the end of the channel. */
+        private void deliverToOlder(Frame frame) {
             if (frame == null) {
-                oldSawEnd = true;
-                HandoverSender.Step step = giving.lost();
-                regaining |= step == HandoverSender.Step.RESUME;
-                oldAlive &= step != HandoverSender.Step.FAIL;
-            } else if (frame.equals("take")) {
-                if (giving.asked() == HandoverSender.Step.GIVE) {
-                    lock = "";
-                    toNew.add("give");
+                olderSawEnd = true;
+                HandoverSender.Action action = sender.onChannelClosed();
+                relocking |= action == HandoverSender.Action.RESUME;
+                olderAlive &= action != HandoverSender.Action.FAIL;
+            } else if (frame == Frame.REQUEST) {
+                if (sender.onTransferRequested() == HandoverSender.Action.TRANSFER) {
+                    lock = LockHolder.NOBODY;
+                    toNewer.add(Frame.STATE);
                 }
             } else {
-                assertEquals(HandoverSender.Step.LEAVE, giving.owned());
+                assertEquals(HandoverSender.Action.RETIRE, sender.onOwnershipConfirmed());
             }
         }
 
-        private void fresh(String frame) {
+        /** {@code frame}: null for the end of the channel. */
+        private void deliverToNewer(Frame frame) {
             if (frame == null) {
-                newSawEnd = true;
-                taking.lost();
+                newerSawEnd = true;
+                receiver.onChannelClosed();
                 return;
             }
-            boolean locked = lock.isEmpty();
-            lock = locked ? "new" : lock;
-            HandoverReceiver.Step step = taking.given(locked);
-            if (step == HandoverReceiver.Step.TAKE && linked) {
-                toOld.add("owned");
-            } else if (step != HandoverReceiver.Step.TAKE && linked) {
-                lose(); // as Accession closes it
+            boolean tookOver = receiver.onStateReceived(lockForNewer()) == HandoverReceiver.Action.TAKE_OVER;
+            if (tookOver && connected) {
+                toOlder.add(Frame.CONFIRMATION);
+            } else if (!tookOver && connected) {
+                loseChannel(); // as OwnershipAcquisition closes it
             }
         }
 
         String signature() {
-            return giving.state() + " " + taking.state() + toOld + toNew + oldAlive + newAlive + linked + oldSawEnd
-                    + newSawEnd + regaining + lock;
+            return sender.state() + " " + receiver.state() + toOlder + toNewer + olderAlive + newerAlive + connected
+                    + olderSawEnd + newerSawEnd + relocking + lock;
         }
     }
 
@@ -156,58 +203,65 @@
     void neverTwoOwnersAndNeverNone() {
         Set<String> seen = new HashSet<>();
         ArrayDeque<List<Event>> open = new ArrayDeque<>(List.of(List.of()));
-        int ends = 0;
+        int finalStates = 0;
         while (!open.isEmpty()) {
             List<Event> past = open.poll();
-            World w = played(past);
-            assertFalse(w.oldOwns() && w.newOwns(), () -> "two owners after " + past);
-            if (w.newOwns()) {
-                assertEquals("new", w.lock, () -> "an owner without the lock after " + past);
-            }
-            if (w.oldOwns()) {
-                assertEquals("old", w.lock, () -> "an owner without the lock after " + past);
-            }
-            boolean moves = false;
-            for (Event e : Event.values()) {
+            World world = World.after(past);
+            assertOneOwnerWithTheLock(world, past);
+            boolean goesOn = false;
+            for (Event event : Event.values()) {
                 List<Event> next = new ArrayList<>(past);
-                next.add(e);
-                World after = new World();
-                boolean possible = true;
-                for (Event x : next) {
-                    possible = after.happens(x);
-                }
-                boolean own = e != Event.LOSE && e != Event.KILL_OLD && e != Event.KILL_NEW;
-                moves |= possible && own && !after.signature().equals(w.signature());
-                if (possible && seen.add(after.signature())) {
+                next.add(event);
+                World changed = World.after(past);
+                boolean possible = changed.apply(event);
+                goesOn |= possible && !event.isFault() && !changed.signature().equals(world.signature());
+                if (possible && seen.add(changed.signature())) {
                     open.add(next);
                 }
             }
-            if (!moves && (w.oldAlive || w.newAlive)) { // nothing more happens by itself
-                ends++;
+            if (!goesOn && (world.olderAlive || world.newerAlive)) {
+                finalStates++;
                 assertTrue(
-                        w.oldOwns() || w.newOwns() || !w.newAlive && w.giving.state() == HandoverSender.State.GONE,
+                        world.olderOwns() || world.newerOwns() || isOnlyTransferredLeft(world),
                         () -> "nobody owns after " + past);
             }
         }
-        assertTrue(seen.size() > 50 && ends > 5, seen.size() + " states, " + ends + " ends");
+        assertTrue(
+                seen.size() > MIN_STATES && finalStates > MIN_FINAL_STATES,
+                seen.size() + " states, " + finalStates + " final ones");
+    }
+
+    private static void assertOneOwnerWithTheLock(World world, List<Event> past) {
+        assertFalse(world.olderOwns() && world.newerOwns(), () -> "two owners after " + past);
+        if (world.newerOwns()) {
+            assertEquals(LockHolder.NEWER, world.lock, () -> "an owner without the lock after " + past);
+        }
+        if (world.olderOwns()) {
+            assertEquals(LockHolder.OLDER, world.lock, () -> "an owner without the lock after " + past);
+        }
     }
 
-    private static World played(List<Event> events) {
-        World w = new World();
-        events.forEach(w::happens);
-        return w;
+    private static boolean isOnlyTransferredLeft(World world) {
+        return !world.newerAlive && world.sender.state() == HandoverSender.State.TRANSFERRED;
     }
 
     @Test
     void theUsualCourse() {
-        World w = played(List.of(Event.LOOK, Event.WARM, Event.TO_OLD, Event.TO_NEW, Event.TO_OLD));
-        assertTrue(w.newOwns());
-        assertEquals(HandoverSender.State.GONE, w.giving.state());
+        World world = World.after(List.of(
+                Event.SEARCH, Event.WARM_UP, Event.DELIVER_TO_OLDER, Event.DELIVER_TO_NEWER, Event.DELIVER_TO_OLDER));
+        assertTrue(world.newerOwns());
+        assertEquals(HandoverSender.State.TRANSFERRED, world.sender.state());
     }
 
     @Test
     void aNewerProcessThatDiesBeforeItOwnsGivesTheWorkBack() {
-        World w = played(List.of(Event.LOOK, Event.WARM, Event.TO_OLD, Event.KILL_NEW, Event.TO_OLD, Event.REGAIN));
-        assertTrue(w.oldOwns() && w.resumed);
+        World world = World.after(List.of(
+                Event.SEARCH,
+                Event.WARM_UP,
+                Event.DELIVER_TO_OLDER,
+                Event.KILL_NEWER,
+                Event.DELIVER_TO_OLDER,
+                Event.RELOCK));
+        assertTrue(world.olderOwns() && world.resumed);
     }
 }
--- a/src/test/java/elderseam/scenario/HandoverScenarioTest.java
+++ b/src/test/java/elderseam/scenario/HandoverScenarioTest.java
@@ -127,15 +127,15 @@
                     c expect 202
                     h1 expect pay
                     """.replace("{to}", TO));
-            HandoverChannel link = s.asking();
-            assertTrue(link.await() instanceof HandoverFrame.Give g
-                    && g.estate().inFlight().size() == 1);
+            HandoverChannel channel = s.asking();
+            assertTrue(channel.receive().orElseThrow() instanceof HandoverFrame.StateTransfer transfer
+                    && transfer.state().inFlight().size() == 1);
             s.run("""
                     h1 send 200
                     c send POST /status-update; {to} X-Txn: say
                     """.replace("{to}", TO));
-            assertTrue(link.await() instanceof HandoverFrame.Ended);
-            link.close();
+            assertTrue(channel.receive().orElseThrow() instanceof HandoverFrame.AttemptCompletion);
+            channel.close();
             s.run("""
                     c expect 202
                     h1 expect say
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -499,12 +499,12 @@
         address = RawHttpSocket.own().getHostAddress() + ":8443";
     }
 
-    /** A link to the program such as a newer process has, on which it was asked for everything. */
+    /** A channel to the program such as a newer process has, on which it was asked for its state. */
     HandoverChannel asking() throws IOException {
         front('o');
-        HandoverChannel link = HandoverChannel.connect(state());
-        link.send(new HandoverFrame.Take());
-        return link;
+        HandoverChannel channel = HandoverChannel.connect(state()).orElseThrow();
+        channel.send(new HandoverFrame.TransferRequest());
+        return channel;
     }
 
     /** The next start has no second address. */
