--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -54,7 +54,7 @@
     /** Begins, or begins anew after {@link #leave}. */
     void join() throws IOException {
         SettingsMap told = config.settings();
-        int count = told.settings().senders();
+        int count = told.settings().senderCount();
         gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off") ? null : new GossipService(io, settings, relay);
         shares = switch (settings.get(SettingKeys.SHARES_MEMBERS)) {
             case "gossip" -> new PartitionService(io, settings, relay, hosts, count, gossip);
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -13,7 +13,7 @@
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -24,12 +24,12 @@
 
 /** Wires the gossip to the relay; where it is off this class is not loaded. */
 final class GossipService implements PartitionService.Members {
-    private static final Map<Sender.Standing, HealthReport.State> STATES = Map.of(
-            Sender.Standing.CLOSED,
+    private static final Map<BreakerState, HealthReport.State> STATES = Map.of(
+            BreakerState.CLOSED,
             HealthReport.State.CLOSED,
-            Sender.Standing.HALF_OPEN,
+            BreakerState.HALF_OPEN,
             HealthReport.State.HALF_OPEN,
-            Sender.Standing.OPEN,
+            BreakerState.OPEN,
             HealthReport.State.OPEN);
 
     private final GossipConfiguration opening;
@@ -79,10 +79,10 @@
         List<GossipAgent.Own> all = new ArrayList<>();
         relay.breakers((destination, b) -> all.add(new GossipAgent.Own(
                 destination,
-                STATES.get(b.standing()),
+                STATES.get(b.state()),
                 (int) Math.max(0, Math.min(Integer.MAX_VALUE, b.waitNs() / Clock.MS)),
                 b.calls(),
-                b.failed())));
+                b.failures())));
         return all;
     }
 
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -5,7 +5,8 @@
 import elderseam.fleet.lease.LeaseValidity;
 import elderseam.fleet.lease.RecoveryProbeTask;
 import elderseam.frontend.platform.EndpointList;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.BreakerView;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -38,8 +39,8 @@
         relay.breakers(this::look);
     }
 
-    private void look(long destination, Sender.Breaker breaker) {
-        boolean closed = breaker.standing() == Sender.Standing.CLOSED;
+    private void look(long destination, BreakerView breaker) {
+        boolean closed = breaker.state() == BreakerState.CLOSED;
         RecoveryProbeTask duty = closed
                 ? duties.get(destination)
                 : duties.computeIfAbsent(destination, d -> new RecoveryProbeTask(IDLE_NS, pauseNs));
@@ -49,7 +50,7 @@
         String lease = LEASE + destination;
         LeaseValidity held = fleet.tenure(lease);
         RecoveryProbeTask.Turn turn =
-                duty.look(clock.now(), standing(breaker.standing()), held != null, fleet.another(lease));
+                duty.look(clock.now(), standing(breaker.state()), held != null, fleet.another(lease));
         if (turn.tells()) {
             fleet.publish(lease, held, "back");
         }
@@ -62,7 +63,7 @@
         }
     }
 
-    private static RecoveryProbeTask.Standing standing(Sender.Standing own) {
+    private static RecoveryProbeTask.Standing standing(BreakerState own) {
         return switch (own) {
             case CLOSED -> RecoveryProbeTask.Standing.CLOSED;
             case HALF_OPEN -> RecoveryProbeTask.Standing.HALF_OPEN;
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -8,7 +8,8 @@
 import elderseam.frontend.platform.EndpointList;
 import elderseam.gossip.HealthReport;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.util.HashMap;
@@ -120,8 +121,8 @@
         io.at(io.clock.now() + LOOK_NS, this::look);
     }
 
-    private void turn(long destination, Sender.Breaker breaker) {
-        TurnTakingTask.Standing own = standing(breaker.standing());
+    private void turn(long destination, BreakerView breaker) {
+        TurnTakingTask.Standing own = standing(breaker.state());
         TurnTakingTask duty = own == TurnTakingTask.Standing.CLOSED
                 ? duties.remove(destination)
                 : duties.computeIfAbsent(
@@ -138,7 +139,7 @@
         }
     }
 
-    private static TurnTakingTask.Standing standing(Sender.Standing own) {
+    private static TurnTakingTask.Standing standing(BreakerState own) {
         return switch (own) {
             case CLOSED -> TurnTakingTask.Standing.CLOSED;
             case HALF_OPEN -> TurnTakingTask.Standing.HALF_OPEN;
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -8,7 +8,10 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.BreakerView;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.RequestClass;
 import elderseam.rules.IdempotencyKeyScheme;
 import elderseam.rules.KnownNames;
 import elderseam.rules.RuleEngine;
@@ -32,9 +35,9 @@
     private final RequestDispatcher relay;
     private final Journal journal;
     private final SettingsMap settings;
-    private final Sender.Settings module;
+    private final PolicySettings module;
     private final RuleEngine decider;
-    private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
+    private final Map<Long, BreakerView> breakers = new HashMap<>();
     private long breakersAt = Long.MIN_VALUE / 2;
     private volatile int earlier;
     private volatile IdempotencyKeyScheme current; // read by the signal's thread
@@ -65,9 +68,9 @@
         KnownNames names = names(settings);
         this.module = settings.settings();
         this.decider = new RuleEngine(
-                module.classes().stream().map(Sender.MessageClass::deadlineNs).toList(),
+                module.classes().stream().map(RequestClass::deadlineNs).toList(),
                 module.maxRetryAfterNs(),
-                module.mostHeld(),
+                module.maxHeld(),
                 this,
                 words -> System.err.println(words));
         for (Map.Entry<String, byte[]> s : journal.schemes().entrySet()) {
@@ -147,7 +150,7 @@
 
     // ---------------------------------------------------------------- how the dispatcher stands
 
-    private Sender.Breaker look(long destination) {
+    private BreakerView look(long destination) {
         long now = io.clock.now();
         if (now - breakersAt > FRESH_NS) {
             breakersAt = now;
@@ -159,15 +162,15 @@
 
     @Override
     public Breaker breaker(long destination) {
-        Sender.Breaker b = look(destination);
-        return b == null || b.standing() == Sender.Standing.CLOSED
+        BreakerView b = look(destination);
+        return b == null || b.state() == BreakerState.CLOSED
                 ? Breaker.CLOSED
-                : b.standing() == Sender.Standing.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
+                : b.state() == BreakerState.OPEN ? Breaker.OPEN : Breaker.HALF_OPEN;
     }
 
     @Override
     public long waitNs(long destination) {
-        Sender.Breaker b = look(destination);
+        BreakerView b = look(destination);
         return b == null ? 0 : Math.max(0, b.waitNs());
     }
 
@@ -185,6 +188,6 @@
     public double share(int tenant) {
         return tenant < 0 || tenant >= module.tenantRates().size()
                 ? 0
-                : module.tenantRates().get(tenant) / Math.max(1, module.senders());
+                : module.tenantRates().get(tenant) / Math.max(1, module.senderCount());
     }
 }
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -12,7 +12,7 @@
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 
@@ -36,7 +36,7 @@
             PlatformFrontend front = new PlatformFrontend(
                     io, few, new EndpointAddress("none", ""), relay, config.settings(), null, new Lifecycle());
             relay.front(PlatformFrontend.NUMBER, front, new PlatformAttemptSender(io, few, hosts, config.settings()));
-            relay.hosts(Sender.ListKind.CACHED, hosts.decode(config.known().at("servers"), true));
+            relay.hosts(ListUpdateKind.CACHED, hosts.decode(config.known().at("servers"), true));
             HttpServer server = new HttpServer(
                     io,
                     new InetSocketAddress(config.listen().getAddress(), 0),
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -3,14 +3,14 @@
 import elderseam.core.EndpointCall.End;
 import elderseam.core.EndpointCall.Progress;
 import elderseam.core.EndpointCall.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
 import java.util.HashMap;
 import java.util.Map;
 
 /** The attempts of a relay's streams: each is begun once the journal knows of it, and counted while it is out. */
 final class AttemptTracker {
     private final RequestDispatcher relay;
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final PolicyFacade facade;
     private final Journal journal;
     private final Clock clock;
@@ -22,7 +22,7 @@
 
     AttemptTracker(
             RequestDispatcher relay,
-            Sender.Settings settings,
+            PolicySettings settings,
             PolicyFacade facade,
             Journal journal,
             Clock clock,
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -3,7 +3,7 @@
 import elderseam.core.EndpointCall.End;
 import elderseam.core.EndpointCall.Progress;
 import elderseam.core.EndpointCall.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -140,7 +140,7 @@
     }
 
     private int shape() {
-        Sender.Settings s = facade.settings();
+        PolicySettings s = facade.settings();
         return LAYOUT << 24
                 | s.classes().size() << 16
                 | s.kinds().size() << 8
--- a/src/main/java/elderseam/core/OperatorDrains.java
+++ b/src/main/java/elderseam/core/OperatorDrains.java
@@ -1,8 +1,8 @@
 package elderseam.core;
 
-import elderseam.policy.Sender.Endpoint;
-import elderseam.policy.Sender.ListKind;
-import elderseam.policy.Sender.Listing;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -21,7 +21,7 @@
     static final int MOST = 1_024, REMEMBERED = 4_096;
 
     private final Set<String> detached;
-    private final Map<String, Endpoint> listed = new LinkedHashMap<>();
+    private final Map<String, ListedEndpoint> listed = new LinkedHashMap<>();
     private final Set<String> past = new LinkedHashSet<>(); // oldest first
 
     OperatorDrains(Collection<String> detached) {
@@ -29,14 +29,14 @@
     }
 
     /** The entries of a list as the module is to have them. */
-    List<Endpoint> over(ListKind kind, List<Endpoint> entries) {
-        if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
+    List<ListedEndpoint> over(ListUpdateKind kind, List<ListedEndpoint> entries) {
+        if (kind != ListUpdateKind.CHANGES && kind != ListUpdateKind.FAILED) {
             listed.keySet().forEach(this::remember);
             listed.clear();
         }
-        List<Endpoint> seen = new ArrayList<>(entries.size());
-        for (Endpoint e : entries) {
-            if (e.listing() == Listing.GONE) {
+        List<ListedEndpoint> seen = new ArrayList<>(entries.size());
+        for (ListedEndpoint e : entries) {
+            if (e.status() == EndpointStatus.GONE) {
                 listed.remove(e.address());
                 remember(e.address());
             } else {
@@ -55,9 +55,10 @@
         }
     }
 
-    private Endpoint seen(Endpoint e) {
-        return e.listing() == Listing.READY && detached.contains(e.address())
-                ? new Endpoint(e.address(), e.destination(), e.kind(), e.zone(), Listing.DRAINING, e.weight())
+    private ListedEndpoint seen(ListedEndpoint e) {
+        return e.status() == EndpointStatus.READY && detached.contains(e.address())
+                ? new ListedEndpoint(
+                        e.address(), e.destination(), e.kind(), e.zone(), EndpointStatus.DRAINING, e.weight())
                 : e;
     }
 
@@ -75,7 +76,7 @@
     }
 
     /** Begins or ends a ban; the change of the list that it makes for the module. */
-    List<Endpoint> set(String id, boolean out) {
+    List<ListedEndpoint> set(String id, boolean out) {
         if (out) {
             detached.add(id);
         } else {
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -1,8 +1,18 @@
 package elderseam.core;
 
+import elderseam.policy.AttemptResult;
+import elderseam.policy.BreakerView;
+import elderseam.policy.CompletedAttempt;
 import elderseam.policy.DispatchPolicy;
-import elderseam.policy.Sender;
-import elderseam.policy.Sender.Result;
+import elderseam.policy.EndpointCounts;
+import elderseam.policy.LimitReport;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyActions;
+import elderseam.policy.PolicyEvents;
+import elderseam.policy.PolicyRequest;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.SnapshotCursor;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -19,7 +29,7 @@
         }
     }
 
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final DispatchPolicy brain;
     private final Consumer<String> log;
     private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
@@ -27,13 +37,13 @@
     private long now;
     private boolean news;
 
-    PolicyFacade(Sender.Settings settings, long seed, Consumer<String> log) {
+    PolicyFacade(PolicySettings settings, long seed, Consumer<String> log) {
         this.log = log;
         this.settings = settings;
         this.brain = new DispatchPolicy(settings, seed, new Recorder());
     }
 
-    Sender.Settings settings() {
+    PolicySettings settings() {
         return settings;
     }
 
@@ -45,7 +55,7 @@
     void take(long time, ActiveRequest s) {
         at(time);
         if (s.attempts == 0) {
-            brain.message(now, message(s));
+            brain.request(now, message(s));
         } else {
             brain.restored(now, message(s), s.attempts, s.mayHaveRun, s.keyUntil);
         }
@@ -58,9 +68,9 @@
     }
 
     /** What the module has learned, told or taken over. */
-    void carry(long time, Sender.Ledger ledger) {
+    void carry(long time, SnapshotCursor ledger) {
         at(time);
-        brain.carry(now, ledger);
+        brain.transfer(now, ledger);
     }
 
     /** Whether a message for that destination can be taken on. */
@@ -69,9 +79,9 @@
         return brain.serves(now, destination);
     }
 
-    private static Sender.Message message(ActiveRequest s) {
+    private static PolicyRequest message(ActiveRequest s) {
         ActiveRequest.Message m = s.message;
-        return new Sender.Message(
+        return new PolicyRequest(
                 m.id(), m.cls(), m.tenant(), -1, m.deadline(), m.destination(), m.again(), m.heedsWindow());
     }
 
@@ -81,7 +91,7 @@
         boolean over = end.status() == EndpointCall.Status.DELIVERED || end.status() == EndpointCall.Status.OVER;
         brain.outcome(
                 now,
-                new Sender.Outcome(
+                new CompletedAttempt(
                         id,
                         attempt,
                         host,
@@ -90,25 +100,25 @@
                         end.waitNs(),
                         end.status() == EndpointCall.Status.NO_SLOT,
                         over,
-                        new Sender.Report(end.shareLeft(), end.limitPerS())));
+                        new LimitReport(end.shareLeft(), end.limitPerS())));
     }
 
-    private static Result result(EndpointCall.End end) {
+    private static AttemptResult result(EndpointCall.End end) {
         return switch (end.status()) {
-            case DELIVERED -> Result.DELIVERED;
-            case ERROR -> Result.ERROR;
-            case FULL -> Result.FULL;
-            case NO_SLOT, SPENT, OVER, HELD -> Result.NOT_SENT;
-            case BROKEN -> end.mayHaveRun() ? Result.RESET : Result.CONNECT_FAILED;
-            case TIMED_OUT -> end.mayHaveRun() ? Result.TIMEOUT : Result.CONNECT_FAILED;
-            case ABANDONED -> end.mayHaveRun() ? Result.CANCELLED : Result.CONNECT_FAILED;
+            case DELIVERED -> AttemptResult.DELIVERED;
+            case ERROR -> AttemptResult.ERROR;
+            case FULL -> AttemptResult.FULL;
+            case NO_SLOT, SPENT, OVER, HELD -> AttemptResult.NOT_SENT;
+            case BROKEN -> end.mayHaveRun() ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED;
+            case TIMED_OUT -> end.mayHaveRun() ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED;
+            case ABANDONED -> end.mayHaveRun() ? AttemptResult.CANCELLED : AttemptResult.CONNECT_FAILED;
         };
     }
 
     /** The answer of an attempt that had been given up: its wait and its report of a limit count, its end is past. */
     void reportLate(long time, String host, EndpointCall.End end) {
         at(time);
-        brain.heard(now, host, end.waitNs(), new Sender.Report(end.shareLeft(), end.limitPerS()));
+        brain.lateAnswer(now, host, end.waitNs(), new LimitReport(end.shareLeft(), end.limitPerS()));
     }
 
     /** An answer, though late, says that the stream is done: nothing is to be sent for it any more. */
@@ -120,7 +130,7 @@
     /** Nothing begins at that host for so long: another dispatcher tries it for the whole fleet. */
     void defer(long time, String host, long ns) {
         at(time);
-        brain.heard(now, host, ns, Sender.Report.NONE);
+        brain.lateAnswer(now, host, ns, LimitReport.NONE);
     }
 
     /** Nobody looked at the network for so long. */
@@ -132,19 +142,19 @@
     /** Whether a call of that stream to that host may still begin. */
     boolean mayCall(long time, String id, String host) {
         now = Math.max(now, time);
-        return brain.mayCall(now, id, host);
+        return brain.mayStart(now, id, host);
     }
 
     /** How each destination stands. */
-    void breakers(long time, BiConsumer<Long, Sender.Breaker> each) {
+    void breakers(long time, BiConsumer<Long, BreakerView> each) {
         now = Math.max(now, time);
         brain.breakers(now, each);
     }
 
     /** The list as the module uses it now. */
-    Sender.Listed listed(long time) {
+    EndpointCounts listed(long time) {
         now = Math.max(now, time);
-        return brain.listed(now);
+        return brain.endpointCounts(now);
     }
 
     /** What others say of a destination. */
@@ -153,14 +163,14 @@
         brain.advised(now, destination, doubt, trying);
     }
 
-    /** What this dispatcher's part is of what all do, as {@link Sender.Events#part} has it. */
+    /** What this dispatcher's part is of what all do, as {@link PolicyEvents#share} has it. */
     void part(long time, int senders, Predicate<String> preferred, double retries) {
         at(time);
-        brain.part(now, senders, preferred, retries);
+        brain.share(now, senders, preferred, retries);
     }
 
     /** The list of hosts changed, was told whole, or could not be had. */
-    void report(long time, Sender.ListKind kind, List<Sender.Endpoint> hosts) {
+    void report(long time, ListUpdateKind kind, List<ListedEndpoint> hosts) {
         at(time);
         brain.endpoints(now, kind, hosts);
     }
@@ -195,7 +205,7 @@
         return decisions.poll();
     }
 
-    private final class Recorder implements Sender.Actions {
+    private final class Recorder implements PolicyActions {
         @Override
         public void send(String id, String endpoint, long stopAt) {
             decisions.add(new PolicyDecision.Send(id, endpoint, stopAt));
@@ -207,7 +217,7 @@
         }
 
         @Override
-        public void refuse(String id, long retryAfterNs) {
+        public void reject(String id, long retryAfterNs) {
             decisions.add(new PolicyDecision.End(id, FinalOutcome.refused(retryAfterNs)));
         }
 
--- a/src/main/java/elderseam/core/PolicySnapshotCodec.java
+++ b/src/main/java/elderseam/core/PolicySnapshotCodec.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.policy.Sender.Ledger;
+import elderseam.policy.SnapshotCursor;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -17,15 +17,15 @@
 
     private PolicySnapshotCodec() {}
 
-    static final class Writer implements Ledger {
+    static final class Writer implements SnapshotCursor {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(16 << 10);
         private final DataOutputStream out = new DataOutputStream(bytes);
         private final long now;
 
         Writer(Clock clock) {
             now = clock.now();
-            whole(now);
-            whole(clock.wallMs());
+            integer(now);
+            integer(clock.wallMs());
         }
 
         byte[] bytes() {
@@ -33,7 +33,7 @@
         }
 
         @Override
-        public long whole(long value) {
+        public long integer(long value) {
             try {
                 out.writeLong(value);
             } catch (IOException e) {
@@ -44,14 +44,14 @@
 
         @Override
         public double real(double value) {
-            whole(Double.doubleToLongBits(value));
+            integer(Double.doubleToLongBits(value));
             return value;
         }
 
         @Override
         public long time(long value) {
             flag(isTime(value, now));
-            return whole(value);
+            return integer(value);
         }
 
         @Override
@@ -69,7 +69,7 @@
         return value != 0 && value > now - FAR_NS && value < now + FAR_NS;
     }
 
-    static final class Reader implements Ledger {
+    static final class Reader implements SnapshotCursor {
         private final DataInputStream in;
         private final long shift, now;
         private final boolean anew;
@@ -81,14 +81,14 @@
             this.anew = anew;
             now = clock.now();
             in = new DataInputStream(new ByteArrayInputStream(bytes));
-            long theirs = whole(0), wallMs = whole(0);
+            long theirs = integer(0), wallMs = integer(0);
             agoNs = (clock.wallMs() - wallMs) * Clock.MS;
             long by = now - theirs - (clock.wallMs() - wallMs) * Clock.MS;
             shift = Math.abs(by) < SAME_NS ? 0 : by;
         }
 
         @Override
-        public long whole(long none) {
+        public long integer(long none) {
             try {
                 return in.readLong();
             } catch (IOException e) {
@@ -98,18 +98,18 @@
 
         @Override
         public double real(double none) {
-            return Double.longBitsToDouble(whole(0));
+            return Double.longBitsToDouble(integer(0));
         }
 
         @Override
         public long time(long none) {
             boolean moves = flag(false);
-            long value = whole(0);
+            long value = integer(0);
             return moves ? value + shift : value;
         }
 
         @Override
-        public long ends(long wait) {
+        public long waitEnd(long wait) {
             return anew ? Math.min(wait, now) : wait;
         }
 
--- a/src/main/java/elderseam/core/Recovery.java
+++ b/src/main/java/elderseam/core/Recovery.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -36,7 +36,7 @@
     private int portion = FIRST;
 
     /** {@code mostOut}: calls that may be out at once; a portion of those that will be called is no larger. */
-    Recovery(List<ActiveRequest> left, List<Sender.MessageClass> classes, int mostOut, long now) {
+    Recovery(List<ActiveRequest> left, List<RequestClass> classes, int mostOut, long now) {
         start = now;
         most = Math.max(LEAST, mostOut);
         List<ActiveRequest> sorted = new ArrayList<>(left);
@@ -48,10 +48,10 @@
     }
 
     /** Whether no upstream host can be called for it any more. */
-    static boolean endKnown(ActiveRequest s, List<Sender.MessageClass> classes, long now) {
+    static boolean endKnown(ActiveRequest s, List<RequestClass> classes, long now) {
         return s.message.deadline() <= now
                 || s.mayHaveRun
-                        && switch (classes.get(s.message.cls()).effect()) {
+                        && switch (classes.get(s.message.cls()).idempotency()) {
                             case SAFE -> false;
                             case KEYED -> s.keyUntil <= now;
                             case UNSAFE -> true;
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -1,6 +1,11 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.EndpointCounts;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyEvents;
+import elderseam.policy.PolicySettings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -24,7 +29,7 @@
 
     private static final long LOOK_NS = 5 * Clock.MS;
 
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final PolicyFacade facade;
     private final Journal journal;
     private final Clock clock;
@@ -40,13 +45,13 @@
     private boolean turning, postponed, recovering;
     private long tickAt = Long.MAX_VALUE;
 
-    public RequestDispatcher(Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
+    public RequestDispatcher(PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
         this(settings, seed, journal, clock, loop, words -> System.err.println("module: " + words));
     }
 
     /** {@code log}: where the module's words go. */
     public RequestDispatcher(
-            Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
+            PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
@@ -71,7 +76,7 @@
     }
 
     /** The list of hosts, or that it could not be had. */
-    public void hosts(Sender.ListKind kind, List<Sender.Endpoint> hosts) {
+    public void hosts(ListUpdateKind kind, List<ListedEndpoint> hosts) {
         if (!handover.passedOn()) {
             facade.report(clock.now(), kind, detached.over(kind, hosts));
             turn();
@@ -97,7 +102,7 @@
             return Detaching.NO_ROOM;
         }
         if (detached.has(host) != out) {
-            facade.report(clock.now(), Sender.ListKind.CHANGES, detached.set(host, out));
+            facade.report(clock.now(), ListUpdateKind.CHANGES, detached.set(host, out));
             turn();
         }
         return Detaching.DONE;
@@ -107,10 +112,10 @@
     public List<String> figures(List<String> classes) {
         List<String> lines = new ArrayList<>();
         figures.lines(classes, lines);
-        Sender.Listed listed = facade.listed(clock.now());
+        EndpointCounts listed = facade.listed(clock.now());
         lines.add("edge_relay.inflight=" + held());
-        lines.add("edge_relay.hosts_listed=" + listed.hosts());
-        lines.add("edge_relay.hosts_down=" + listed.down());
+        lines.add("edge_relay.hosts_listed=" + listed.listed());
+        lines.add("edge_relay.hosts_down=" + listed.unavailable());
         return lines;
     }
 
@@ -229,7 +234,7 @@
     }
 
     private boolean room() {
-        return streams.size() + copies.size() < settings.mostHeld();
+        return streams.size() + copies.size() < settings.maxHeld();
     }
 
     /** Whether that message is under way, or its end is remembered. */
@@ -249,7 +254,7 @@
 
     /** Messages that may be held at once. */
     public int mostHeld() {
-        return settings.mostHeld();
+        return settings.maxHeld();
     }
 
     /** From now on the calls out are counted by destination too. */
@@ -274,7 +279,7 @@
     }
 
     /** How each destination stands, for those who share it. */
-    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
+    public void breakers(BiConsumer<Long, BreakerView> each) {
         facade.breakers(clock.now(), each);
     }
 
@@ -283,7 +288,7 @@
         facade.advise(clock.now(), destination, doubt, trying);
     }
 
-    /** What this dispatcher's part is of what all do, until told otherwise: as {@link Sender.Events#part} has it. */
+    /** What this dispatcher's part is of what all do, until told otherwise: as {@link PolicyEvents#share} has it. */
     public void part(int senders, Predicate<String> preferred, double retries) {
         facade.part(clock.now(), senders, preferred, retries);
         turn();
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -1,9 +1,12 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
-import elderseam.policy.Sender.Effect;
-import elderseam.policy.Sender.Kind;
-import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.ConnectionSettings;
+import elderseam.policy.DestinationKind;
+import elderseam.policy.Idempotency;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.PriceSettings;
+import elderseam.policy.RequestClass;
+import elderseam.policy.WeightPrecision;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -12,18 +15,18 @@
 public record SettingsMap(Map<String, String> values) {
 
     /** What the module is told; a value that is no number is named in the exception. */
-    public Sender.Settings settings() {
-        List<MessageClass> classes = new ArrayList<>();
+    public PolicySettings settings() {
+        List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < (int) real("services.count", 0); i++) {
             String p = "services." + i + ".";
-            Effect effect = switch (text(p + "effect", "")) {
-                case "repeatable" -> Effect.SAFE;
-                case "by_key" -> Effect.KEYED;
-                case "once" -> Effect.UNSAFE;
+            Idempotency effect = switch (text(p + "effect", "")) {
+                case "repeatable" -> Idempotency.SAFE;
+                case "by_key" -> Idempotency.KEYED;
+                case "once" -> Idempotency.UNSAFE;
                 default -> throw new IllegalArgumentException("unknown " + p + "effect");
             };
             boolean zoned = !text(p + "keyScope", "all").equals("all");
-            classes.add(new MessageClass(
+            classes.add(new RequestClass(
                     effect,
                     zoned,
                     flag(p + "fifoByKey"),
@@ -35,12 +38,12 @@
         }
         String[] apart = text("extra.kindApart", "").split(",");
         String[] batch = text("extra.batchByKind", "").split(",");
-        List<Kind> kinds = new ArrayList<>();
+        List<DestinationKind> kinds = new ArrayList<>();
         int count = Math.max(1, text("flavors", "").split(",").length);
         for (int i = 0; i < count; i++) {
             boolean routes = i < apart.length && apart[i].equals("true");
             int most = i < batch.length && !batch[i].isEmpty() ? (int) number(batch[i], "extra.batchByKind") : 1;
-            kinds.add(new Kind(routes, most));
+            kinds.add(new DestinationKind(routes, most));
         }
         List<Double> quotas = new ArrayList<>();
         for (int i = 0; i < (int) real("orgs.count", 0); i++) {
@@ -52,12 +55,12 @@
                 fees.add(number(fee, "extra.zoneFee"));
             }
         }
-        Sender.Rates rates = switch (text("weightKind", "silent")) {
-            case "nominal" -> Sender.Rates.EXACT;
-            case "rough" -> Sender.Rates.ROUGH;
-            default -> Sender.Rates.UNTOLD;
+        WeightPrecision rates = switch (text("weightKind", "silent")) {
+            case "nominal" -> WeightPrecision.EXACT;
+            case "rough" -> WeightPrecision.ROUGH;
+            default -> WeightPrecision.UNKNOWN;
         };
-        return new Sender.Settings(
+        return new PolicySettings(
                 classes,
                 kinds,
                 quotas,
@@ -79,11 +82,11 @@
                 real("safety.fallMultiple", 1),
                 whole("safety.fallNs", 0),
                 whole("safety.keyQuietNs", 0),
-                new Sender.Connections(
+                new ConnectionSettings(
                         whole("limits.connIdleNs", 0),
                         (int) Math.min(Integer.MAX_VALUE, whole("limits.multiplex", 1)),
                         whole("limits.connectTimeoutNs", 0)),
-                new Sender.Prices(real("prices.handshake", 0), real("prices.crossZone", 0), fees));
+                new PriceSettings(real("prices.handshake", 0), real("prices.crossZone", 0), fees));
     }
 
     /** The names under {@code path.N.name}, in order. */
--- a/src/main/java/elderseam/frontend/cloudevents/EventCodec.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventCodec.java
@@ -7,7 +7,8 @@
 import elderseam.core.Clock;
 import elderseam.core.SettingsMap;
 import elderseam.http.HttpServer.Request;
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.RequestClass;
 import io.cloudevents.CloudEvent;
 import io.cloudevents.http.HttpMessageFactory;
 import io.cloudevents.jackson.JsonFormat;
@@ -77,7 +78,7 @@
     private final JsonFormat format = new JsonFormat();
     private final Clock clock;
     private final List<String> classes, tenants;
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final long rememberNs;
 
     EventCodec(Clock clock, SettingsMap settings, long rememberNs) {
@@ -283,7 +284,7 @@
 
     private long longest() {
         return settings.classes().stream()
-                .mapToLong(Sender.MessageClass::deadlineNs)
+                .mapToLong(RequestClass::deadlineNs)
                 .max()
                 .orElse(0);
     }
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -10,7 +10,7 @@
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.util.List;
 
@@ -51,7 +51,7 @@
     /** The list as this dispatcher had it last; it may be old. */
     public void known(JsonValue list) {
         version = list.at("version").whole(0);
-        relay.hosts(Sender.ListKind.CACHED, hosts.decode(list.at("servers"), true));
+        relay.hosts(ListUpdateKind.CACHED, hosts.decode(list.at("servers"), true));
     }
 
     /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
@@ -94,7 +94,7 @@
     public void heard(JsonValue list) {
         if (stopped && list.at("version").whole(0) != version) {
             version = list.at("version").whole(0);
-            relay.hosts(Sender.ListKind.WHOLE, hosts.decode(list.at("servers"), true));
+            relay.hosts(ListUpdateKind.COMPLETE, hosts.decode(list.at("servers"), true));
         }
     }
 
@@ -147,7 +147,7 @@
                 watch();
                 boolean whole = list.at("full").flag();
                 relay.hosts(
-                        whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
+                        whole ? ListUpdateKind.COMPLETE : ListUpdateKind.CHANGES,
                         hosts.decode(list.at("servers"), whole));
                 answered.run();
                 return;
@@ -160,6 +160,6 @@
             watch();
             return;
         }
-        relay.hosts(Sender.ListKind.FAILED, List.of());
+        relay.hosts(ListUpdateKind.FAILED, List.of());
     }
 }
--- a/src/main/java/elderseam/frontend/platform/EndpointList.java
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -3,7 +3,8 @@
 import elderseam.core.JsonValue;
 import elderseam.core.SettingsMap;
 import elderseam.http.EndpointAddress;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListedEndpoint;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,7 +13,7 @@
 /** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
 public final class EndpointList {
     /** One that is listed. */
-    private record Listed(EndpointAddress host, Sender.Endpoint entry) {}
+    private record Listed(EndpointAddress host, ListedEndpoint entry) {}
 
     private final Map<String, Listed> listed = new HashMap<>();
     private final List<String> kinds, zones;
@@ -46,19 +47,19 @@
     }
 
     /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
-    public List<Sender.Endpoint> decode(JsonValue servers, boolean whole) {
+    public List<ListedEndpoint> decode(JsonValue servers, boolean whole) {
         if (whole) {
             listed.clear();
         }
-        List<Sender.Endpoint> entries = new ArrayList<>();
+        List<ListedEndpoint> entries = new ArrayList<>();
         for (JsonValue s : servers.items()) {
             String id = s.at("id").text("");
-            Sender.Listing listing = switch (s.at("state").text("")) {
-                case "SERVING" -> Sender.Listing.READY;
-                case "DELETED" -> Sender.Listing.GONE;
-                default -> Sender.Listing.DRAINING;
+            EndpointStatus listing = switch (s.at("state").text("")) {
+                case "SERVING" -> EndpointStatus.READY;
+                case "DELETED" -> EndpointStatus.GONE;
+                default -> EndpointStatus.DRAINING;
             };
-            Sender.Endpoint e = new Sender.Endpoint(
+            ListedEndpoint e = new ListedEndpoint(
                     id,
                     s.at("cell").whole(0),
                     Math.max(0, kinds.indexOf(s.at("kind").text(""))),
@@ -66,7 +67,7 @@
                     listing,
                     s.at("weight").real(1));
             entries.add(e);
-            if (listing == Sender.Listing.GONE) {
+            if (listing == EndpointStatus.GONE) {
                 listed.remove(id);
             } else { // a change that tells no address leaves it as it was
                 listed.put(
@@ -86,7 +87,7 @@
         StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
         String between = "";
         for (Listed l : listed.values()) {
-            Sender.Endpoint e = l.entry;
+            ListedEndpoint e = l.entry;
             text.append(between)
                     .append("{\"id\":")
                     .append(JsonValue.quoted(e.address()))
@@ -99,7 +100,7 @@
                     .append(",\"cell\":")
                     .append(e.destination())
                     .append(",\"state\":\"")
-                    .append(e.listing() == Sender.Listing.READY ? "SERVING" : "DRAINING")
+                    .append(e.status() == EndpointStatus.READY ? "SERVING" : "DRAINING")
                     .append("\",\"weight\":")
                     .append(e.weight())
                     .append(",\"started_ms\":0}");
--- a/src/main/java/elderseam/policy/AnswerLoss.java
+++ b/src/main/java/elderseam/policy/AnswerLoss.java
@@ -31,7 +31,7 @@
         present = window.failures() >= MIN_LOST_ANSWERS && window.failures() >= MIN_LOST_SHARE * window.calls();
     }
 
-    void transfer(Sender.Ledger snapshot) {
+    void transfer(SnapshotCursor snapshot) {
         window.transfer(snapshot);
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/policy/AttemptResult.java
@@ -0,0 +1,23 @@
+package elderseam.policy;
+
+/** How an attempt or a health check ended. */
+public enum AttemptResult {
+    DELIVERED(false),
+    ERROR(false),
+    /** The destination answered that it is full. */
+    FULL(true),
+    TIMEOUT(false),
+    CONNECT_FAILED(true),
+    RESET(false),
+    /** The policy cancelled it. */
+    CANCELLED(false),
+    /** The host did not send it. */
+    NOT_SENT(true);
+
+    /** True if this result proves that the destination never acted on the attempt. */
+    public final boolean neverRan;
+
+    AttemptResult(boolean neverRan) {
+        this.neverRan = neverRan;
+    }
+}
--- a/src/main/java/elderseam/policy/BreakerState.java
+++ b/src/main/java/elderseam/policy/BreakerState.java
@@ -1,7 +1,7 @@
 package elderseam.policy;
 
 /** The states of a {@link CircuitBreaker}; their ordinals are stored in the snapshot and must not change. */
-enum BreakerState {
+public enum BreakerState {
     /** Calls pass. */
     CLOSED,
     /** Nothing passes until the sleep window ends. */
--- a/src/main/java/elderseam/policy/CircuitBreaker.java
+++ b/src/main/java/elderseam/policy/CircuitBreaker.java
@@ -91,7 +91,7 @@
     }
 
     /** Trips if the evidence suffices, the given outcome being the newest. */
-    void judge(AttemptRecord call, Sender.Result newest, long now) {
+    void judge(AttemptRecord call, AttemptResult newest, long now) {
         if (isHalfOpen() && call == trial) {
             trip(now, "trial " + newest);
         } else if (isClosed()) {
--- a/src/main/java/elderseam/policy/DestinationHealth.java
+++ b/src/main/java/elderseam/policy/DestinationHealth.java
@@ -7,7 +7,7 @@
     private DestinationHealth() {}
 
     /** A destination as a call meets it: open where all of its breakers are, closed where one is. */
-    static Sender.Breaker breaker(DestinationState destination, long now) {
+    static BreakerView breaker(DestinationState destination, long now) {
         int calls = 0;
         int failures = 0;
         int closed = 0;
@@ -20,17 +20,17 @@
             closed += group.breaker.isClosed() ? 1 : 0;
             sleeping += group.breaker.isSleeping(now) ? 1 : 0;
         }
-        Sender.Standing standing = Sender.Standing.HALF_OPEN;
+        BreakerState standing = BreakerState.HALF_OPEN;
         if (closed > 0 || destination.groups.isEmpty()) {
-            standing = Sender.Standing.CLOSED;
+            standing = BreakerState.CLOSED;
         } else if (sleeping == destination.groups.size()) {
-            standing = Sender.Standing.OPEN;
+            standing = BreakerState.OPEN;
         }
-        return new Sender.Breaker(standing, calls, failures, waitNs);
+        return new BreakerView(standing, calls, failures, waitNs);
     }
 
     /** How many endpoints are listed, and how many of them get nothing now. */
-    static Sender.Listed listed(Collection<EndpointState> endpoints, long now) {
+    static EndpointCounts listed(Collection<EndpointState> endpoints, long now) {
         int listed = 0;
         int down = 0;
         for (EndpointState endpoint : endpoints) {
@@ -39,7 +39,7 @@
                 down += isAvoided(endpoint, now) ? 1 : 0;
             }
         }
-        return new Sender.Listed(listed, down);
+        return new EndpointCounts(listed, down);
     }
 
     private static boolean isAvoided(EndpointState endpoint, long now) {
--- a/src/main/java/elderseam/policy/DestinationState.java
+++ b/src/main/java/elderseam/policy/DestinationState.java
@@ -8,7 +8,7 @@
     final long id;
     final RetryBudget retryBudget = new RetryBudget();
     /** As listed; until it is, the first kind of the settings. */
-    Sender.Kind kind;
+    DestinationKind kind;
     /** Index of the kind in the settings. */
     int kindIndex;
 
@@ -22,7 +22,7 @@
     /** When its last endpoint was removed, or when it was first heard of. */
     long emptySince;
 
-    DestinationState(long id, Sender.Kind kind, long now) {
+    DestinationState(long id, DestinationKind kind, long now) {
         this.id = id;
         this.kind = kind;
         this.emptySince = now;
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -6,12 +6,12 @@
 
 /**
  * The policy of one sender: decides on the endpoint of each attempt, on retries and on rejections. It takes events
- * ({@link Sender.Events}) and asks for actions ({@link Sender.Actions}); all attempts start in {@link #turnEnd}.
+ * ({@link PolicyEvents}) and asks for actions ({@link PolicyActions}); all attempts start in {@link #turnEnd}.
  * Decisions are deterministic: the same settings, seed and events give the same actions. Each group of endpoints has
  * a {@link CircuitBreaker}, a {@link TicketPool} and a {@link RateController}; docs/design.md describes how they act
  * together. Not thread-safe: all calls come from one thread.
  */
-public final class DispatchPolicy implements Sender.Events {
+public final class DispatchPolicy implements PolicyEvents {
     private final PolicyContext context;
     final EndpointDirectory directory;
     final RequestTable requests;
@@ -29,7 +29,7 @@
      * @param seed of the random numbers
      * @param actions carries out what is decided, within the call that decided it
      */
-    public DispatchPolicy(Sender.Settings settings, long seed, Sender.Actions actions) {
+    public DispatchPolicy(PolicySettings settings, long seed, PolicyActions actions) {
         context = new PolicyContext(settings, seed, actions);
         directory = new EndpointDirectory(context);
         requests = new RequestTable(context);
@@ -54,14 +54,14 @@
     }
 
     @Override
-    public void endpoints(long now, Sender.ListKind kind, List<Sender.Endpoint> entries) {
+    public void endpoints(long now, ListUpdateKind kind, List<ListedEndpoint> entries) {
         advance(now);
-        if (kind == Sender.ListKind.FAILED) {
+        if (kind == ListUpdateKind.FAILED) {
             subscription.onFailure(now);
             return;
         }
         subscription.onUpdate(kind);
-        directory.update(kind != Sender.ListKind.CHANGES, entries);
+        directory.update(kind != ListUpdateKind.CHANGES, entries);
     }
 
     @Override
@@ -71,23 +71,23 @@
     }
 
     @Override
-    public void message(long now, Sender.Message message) {
-        accept(now, message);
+    public void request(long now, PolicyRequest request) {
+        accept(now, request);
     }
 
-    private PendingRequest accept(long now, Sender.Message message) {
+    private PendingRequest accept(long now, PolicyRequest message) {
         advance(now);
         if (requests.get(message.id()) != null) {
             throw new IllegalArgumentException("message " + message.id() + " is held already");
         }
-        Sender.MessageClass requestClass = context.settings.classes().get(message.cls());
+        RequestClass requestClass = context.settings.classes().get(message.requestClass());
         boolean withinQuota = quotas.take(now, message.tenant(), context.senderCount);
         double weight = loadShedder.priorityWeight(requestClass, withinQuota);
         return requests.add(message, requestClass, directory.destination(message.destination()), weight);
     }
 
     @Override
-    public void restored(long now, Sender.Message message, int attempts, boolean mayHaveRun, long keyValidUntil) {
+    public void restored(long now, PolicyRequest message, int attempts, boolean mayHaveRun, long keyValidUntil) {
         PendingRequest request = accept(now, message);
         request.firstTurn = 0;
         request.attempts = attempts;
@@ -106,7 +106,7 @@
     }
 
     @Override
-    public void carry(long now, Sender.Ledger snapshot) {
+    public void transfer(long now, SnapshotCursor snapshot) {
         advance(now);
         PolicySnapshot.transfer(snapshot, directory);
         connections.transfer(snapshot);
@@ -122,7 +122,7 @@
     }
 
     @Override
-    public void outcome(long now, Sender.Outcome outcome) {
+    public void outcome(long now, CompletedAttempt outcome) {
         advance(now);
         context.answerLoss.roll(now);
         PendingRequest request = requests.get(outcome.id());
@@ -139,7 +139,7 @@
             connections.onCallEnded(call.endpoint);
         }
         retryPolicy.onEnded(request, call, outcome.result(), now);
-        if (outcome.over() || request.finished) {
+        if (outcome.requestFinished() || request.finished) {
             requests.finish(request);
             return;
         }
@@ -150,7 +150,7 @@
     }
 
     @Override
-    public void heard(long now, String address, long waitNs, Sender.Report report) {
+    public void lateAnswer(long now, String address, long waitNs, LimitReport report) {
         advance(now);
         EndpointState endpoint = directory.endpoints.get(address);
         if (endpoint != null) {
@@ -172,14 +172,14 @@
     }
 
     @Override
-    public boolean mayCall(long now, String id, String address) {
+    public boolean mayStart(long now, String id, String address) {
         EndpointState endpoint = directory.endpoints.get(address);
         PendingRequest request = requests.get(id);
         return endpoint != null && request != null && RetryPolicy.mayStillAttempt(request, endpoint, now);
     }
 
     @Override
-    public void breakers(long now, BiConsumer<Long, Sender.Breaker> each) {
+    public void breakers(long now, BiConsumer<Long, BreakerView> each) {
         directory.endpoints.values().stream()
                 .map(endpoint -> endpoint.destination)
                 .distinct()
@@ -187,7 +187,7 @@
     }
 
     @Override
-    public Sender.Listed listed(long now) {
+    public EndpointCounts endpointCounts(long now) {
         return DestinationHealth.listed(directory.endpoints.values(), now);
     }
 
@@ -203,10 +203,10 @@
     }
 
     @Override
-    public void part(long now, int senders, Predicate<String> preferred, double retries) {
+    public void share(long now, int senderCount, Predicate<String> preferred, double retryRatio) {
         advance(now);
-        context.senderCount = Math.max(1, senders);
-        context.retryRatio = retries;
+        context.senderCount = Math.max(1, senderCount);
+        context.retryRatio = retryRatio;
         directory.prefer(preferred);
     }
 
--- a/src/main/java/elderseam/policy/EndpointDirectory.java
+++ b/src/main/java/elderseam/policy/EndpointDirectory.java
@@ -30,7 +30,7 @@
     }
 
     /** Takes in an update that was received; {@code complete}: what it does not name is no longer listed. */
-    void update(boolean complete, List<Sender.Endpoint> entries) {
+    void update(boolean complete, List<ListedEndpoint> entries) {
         if (complete) {
             endpoints.values().forEach(endpoint -> endpoint.removed = true);
         }
@@ -47,8 +47,8 @@
         empty.removeIf(destination -> !destinations.containsKey(destination.id));
     }
 
-    private void update(Sender.Endpoint entry) {
-        boolean gone = entry.listing() == Sender.Listing.GONE;
+    private void update(ListedEndpoint entry) {
+        boolean gone = entry.status() == EndpointStatus.GONE;
         EndpointState endpoint = endpoints.get(entry.address());
         if (endpoint == null) {
             if (gone) {
@@ -56,15 +56,15 @@
             }
             endpoint = add(entry);
         }
-        EndpointSelector.onListed(endpoint, entry.listing() == Sender.Listing.READY, context.now);
+        EndpointSelector.onListed(endpoint, entry.status() == EndpointStatus.READY, context.now);
         endpoint.removed = gone;
-        if (context.settings.rates() != Sender.Rates.UNTOLD && endpoint.ready) {
+        if (context.settings.weightPrecision() != WeightPrecision.UNKNOWN && endpoint.ready) {
             endpoint.group.estimate.advertised = entry.weight();
         }
     }
 
     /** Adds an endpoint that is listed for the first time. */
-    EndpointState add(Sender.Endpoint entry) {
+    EndpointState add(ListedEndpoint entry) {
         DestinationState destination = destination(entry.destination());
         destination.kindIndex = Math.min(entry.kind(), context.settings.kinds().size() - 1);
         destination.kind = context.settings.kinds().get(destination.kindIndex);
--- a/src/main/java/elderseam/policy/EndpointListSubscription.java
+++ b/src/main/java/elderseam/policy/EndpointListSubscription.java
@@ -21,8 +21,8 @@
         subscribeAt = now;
     }
 
-    void onUpdate(Sender.ListKind kind) {
-        if (kind != Sender.ListKind.CACHED) {
+    void onUpdate(ListUpdateKind kind) {
+        if (kind != ListUpdateKind.CACHED) {
             failures = 0;
         }
     }
@@ -49,6 +49,6 @@
     }
 
     private boolean isWanted() {
-        return context.settings.askForList() && !subscribed;
+        return context.settings.subscribes() && !subscribed;
     }
 }
--- a/src/main/java/elderseam/policy/EndpointSelector.java
+++ b/src/main/java/elderseam/policy/EndpointSelector.java
@@ -42,7 +42,7 @@
     }
 
     private boolean isCold(EndpointState endpoint, long now) {
-        return endpoint.coldSince != 0 && now - endpoint.coldSince < context.settings.coldNs();
+        return endpoint.coldSince != 0 && now - endpoint.coldSince < context.settings.warmUpNs();
     }
 
     /** A call begins: a cold endpoint has its part of what its destination withstands while as cold. */
@@ -110,7 +110,7 @@
     }
 
     private double cost(EndpointState endpoint, PendingRequest request, boolean joins, long now) {
-        int requestClass = request.message.cls();
+        int requestClass = request.message.requestClass();
         boolean ejected = now < endpoint.ejectedUntil[requestClass];
         double cost = endpoint.inFlight
                 + COST_PER_PRICE * price(endpoint)
@@ -125,7 +125,7 @@
 
     /** What an attempt there costs: the fee of a route's zone, and the price of another zone. */
     private double price(EndpointState endpoint) {
-        Sender.Prices prices = context.settings.prices();
+        PriceSettings prices = context.settings.prices();
         List<Double> fees = prices.zoneFees();
         boolean hasFee = endpoint.destination.kind.routesApart() && endpoint.zone < fees.size();
         boolean otherZone = endpoint.zone != context.settings.zone() && prices.crossZone() != 0;
--- a/src/main/java/elderseam/policy/IdleConnectionPolicy.java
+++ b/src/main/java/elderseam/policy/IdleConnectionPolicy.java
@@ -95,9 +95,9 @@
         context.actions.disconnect(endpoint.address);
     }
 
-    void transfer(Sender.Ledger snapshot) {
+    void transfer(SnapshotCursor snapshot) {
         for (int kind = 0; kind < restrictedNs.length; kind++) {
-            restrictedNs[kind] = snapshot.whole(restrictedNs[kind]);
+            restrictedNs[kind] = snapshot.integer(restrictedNs[kind]);
             restrictedUntil[kind] = snapshot.time(restrictedUntil[kind]);
         }
     }
--- a/src/main/java/elderseam/policy/LoadShedder.java
+++ b/src/main/java/elderseam/policy/LoadShedder.java
@@ -24,8 +24,8 @@
     }
 
     /** The weight of a request that arrives: less beyond its tenant's quota. */
-    double priorityWeight(Sender.MessageClass requestClass, boolean withinQuota) {
-        return requestClass.worth() * (withinQuota ? 1 : context.settings.overShareWorth());
+    double priorityWeight(RequestClass requestClass, boolean withinQuota) {
+        return requestClass.priorityWeight() * (withinQuota ? 1 : context.settings.overQuotaWeight());
     }
 
     /** Gives up what waits at a destination and can't be attempted any more, or not in time. */
@@ -49,7 +49,7 @@
 
     private void giveUp(PendingRequest request, long now) {
         if (RetryPolicy.mayReject(request)) {
-            context.actions.refuse(request.message.id(), retryAfterNs(request.destination, now));
+            context.actions.reject(request.message.id(), retryAfterNs(request.destination, now));
         } else {
             context.actions.fail(request.message.id());
         }
@@ -71,8 +71,8 @@
      * destination gives up its least worth where others wait there already, else the fullest destination does.
      */
     void shed(long now) {
-        int reserve = Math.max(1, context.settings.mostHeld() / RESERVE_DIVISOR);
-        while (requests.unfinished > context.settings.mostHeld() - reserve) {
+        int reserve = Math.max(1, context.settings.maxHeld() / RESERVE_DIVISOR);
+        while (requests.unfinished > context.settings.maxHeld() - reserve) {
             DestinationState from = overloadedDestination();
             if (from == null || from.waiting.isEmpty()) {
                 return;
@@ -103,7 +103,7 @@
             latencyNs = Math.max(latency.expectedNs(), latency.recentLatencyNs);
         }
         long done = now + (long) latencyNs;
-        double later = request.worthAt(done + request.requestClass.aimNs(), context.settings);
+        double later = request.worthAt(done + request.requestClass.latencyObjectiveNs(), context.settings);
         double lost = request.worthAt(done, context.settings) - LATER_WEIGHT * later + costOfGivingUp;
         return lost / Math.max(latencyNs, PolicyContext.TICK_NS);
     }
--- a/src/main/java/elderseam/policy/NetworkLatency.java
+++ b/src/main/java/elderseam/policy/NetworkLatency.java
@@ -20,9 +20,12 @@
     /** How many times its baseline the middle group takes at present, 1 to 4. */
     double slowdown = 1;
 
-    NetworkLatency(Sender.Settings settings) {
-        baselineLatencyNs =
-                settings.classes().stream().mapToLong(c -> c.aimNs()).min().orElse(0) / OBJECTIVE_DIVISOR;
+    NetworkLatency(PolicySettings settings) {
+        baselineLatencyNs = settings.classes().stream()
+                        .mapToLong(c -> c.latencyObjectiveNs())
+                        .min()
+                        .orElse(0)
+                / OBJECTIVE_DIVISOR;
     }
 
     void answered(LatencyTracker group) {
--- a/src/main/java/elderseam/policy/OutlierDetector.java
+++ b/src/main/java/elderseam/policy/OutlierDetector.java
@@ -1,7 +1,5 @@
 package elderseam.policy;
 
-import elderseam.policy.Sender.Result;
-
 /**
  * Finds out what failed: judges each outcome and each call without an answer, ejects the endpoint and tells the
  * group's breaker and rate controller. Times are nanoseconds of the host's clock; confined to the policy's thread.
@@ -29,35 +27,35 @@
     }
 
     /** Learns from the outcome of a call; that of a batch counts once. */
-    void onOutcome(AttemptRecord call, Sender.Outcome outcome, long now) {
+    void onOutcome(AttemptRecord call, CompletedAttempt outcome, long now) {
         EndpointGroup group = call.group;
         group.roll(now);
-        boolean ended = outcome.result() != Result.CANCELLED && outcome.result() != Result.NOT_SENT;
+        boolean ended = outcome.result() != AttemptResult.CANCELLED && outcome.result() != AttemptResult.NOT_SENT;
         boolean silent = call.cancelled && !context.answerLoss.isPresent();
         if ((ended || silent) && !call.recorded) {
             call.recorded = true;
             record(call, outcome, now);
         }
-        group.rate.onRetryAfter(outcome.waitNs(), now);
+        group.rate.onRetryAfter(outcome.retryAfterNs(), now);
         group.rate.onReport(outcome.report(), now);
     }
 
-    private void record(AttemptRecord call, Sender.Outcome outcome, long now) {
+    private void record(AttemptRecord call, CompletedAttempt outcome, long now) {
         EndpointGroup group = call.group;
-        Result result = outcome.result();
-        group.window.count(result != Result.DELIVERED);
-        if (result == Result.DELIVERED) {
+        AttemptResult result = outcome.result();
+        group.window.count(result != AttemptResult.DELIVERED);
+        if (result == AttemptResult.DELIVERED) {
             onDelivered(call, outcome.latencyNs(), now);
             return;
         }
-        boolean quickReset =
-                result == Result.RESET && outcome.latencyNs() < DEAD_CONNECTION_MULTIPLE * group.latency.expectedNs();
+        boolean quickReset = result == AttemptResult.RESET
+                && outcome.latencyNs() < DEAD_CONNECTION_MULTIPLE * group.latency.expectedNs();
         if (call.overdue && call.idleNs > 0 || quickReset && diedIdle(call)) {
             return; // the connection's fault
         }
-        if (result == Result.FULL) {
-            group.rate.onFull(call, outcome.waitNs(), now);
-            group.breaker.onRetryAfter(outcome.waitNs(), now);
+        if (result == AttemptResult.FULL) {
+            group.rate.onFull(call, outcome.retryAfterNs(), now);
+            group.breaker.onRetryAfter(outcome.retryAfterNs(), now);
         } else {
             onFailed(call, outcome, now);
         }
@@ -67,23 +65,23 @@
     private void onDelivered(AttemptRecord call, long latencyNs, long now) {
         context.answerLoss.onAnswer();
         call.group.latency.delivered(call.start, latencyNs, now);
-        call.requests.forEach(request -> call.endpoint.clearFailures(request.message.cls()));
+        call.requests.forEach(request -> call.endpoint.clearFailures(request.message.requestClass()));
         call.group.rate.onSuccess();
         call.group.breaker.onSuccess(call, now);
     }
 
-    private void onFailed(AttemptRecord call, Sender.Outcome outcome, long now) {
+    private void onFailed(AttemptRecord call, CompletedAttempt outcome, long now) {
         EndpointGroup group = call.group;
-        Result result = outcome.result();
+        AttemptResult result = outcome.result();
         boolean crowded = group.estimate.isCrowded();
-        boolean openFailed = result == Result.CONNECT_FAILED
+        boolean openFailed = result == AttemptResult.CONNECT_FAILED
                 && outcome.latencyNs() < context.settings.connections().timeoutNs();
         if (openFailed && crowded) {
             connections.onOpenFailed(call.endpoint.destination.kindIndex);
         }
         group.rate.lastFaultAt = now;
         group.breaker.onFailure(call.cancelled, now);
-        if (crowded && group.latency.lastSuccessAt < call.start && result != Result.ERROR) {
+        if (crowded && group.latency.lastSuccessAt < call.start && result != AttemptResult.ERROR) {
             group.rate.backOff(0, now);
         }
         if (!call.overdue) {
@@ -100,7 +98,7 @@
         call.group.rate.lastFaultAt = now;
         int maxFailures = silent ? MAX_FAILURES_COUNTED_SILENT : MAX_FAILURES_COUNTED;
         for (PendingRequest request : call.requests) {
-            int requestClass = request.message.cls();
+            int requestClass = request.message.requestClass();
             endpoint.failures[requestClass] += silent ? SILENT_CALL_FAILURES : 1;
             int counted = Math.min(maxFailures, endpoint.failures[requestClass]);
             endpoint.ejectedUntil[requestClass] = now + EJECTION_NS * counted;
--- a/src/main/java/elderseam/policy/PendingRequest.java
+++ b/src/main/java/elderseam/policy/PendingRequest.java
@@ -5,8 +5,8 @@
 
 /** A request that is taken on and not finished, or finished with attempts in flight. Plain state. */
 final class PendingRequest {
-    final Sender.Message message;
-    final Sender.MessageClass requestClass;
+    final PolicyRequest message;
+    final RequestClass requestClass;
     final DestinationState destination;
     /** The requests of the same ordering key; null where it has none. */
     final OrderedKeyQueue keyQueue;
@@ -37,8 +37,8 @@
     long firstTurn;
 
     PendingRequest(
-            Sender.Message message,
-            Sender.MessageClass requestClass,
+            PolicyRequest message,
+            RequestClass requestClass,
             DestinationState destination,
             OrderedKeyQueue keyQueue,
             double priorityWeight,
@@ -53,18 +53,18 @@
     }
 
     /** What delivery at that time is worth: all within the latency objective, then less, nothing after the deadline. */
-    double worthAt(long time, Sender.Settings settings) {
+    double worthAt(long time, PolicySettings settings) {
         if (time >= message.deadline()) {
             return 0;
         }
-        long objectiveNs = requestClass.aimNs();
+        long objectiveNs = requestClass.latencyObjectiveNs();
         double late = Math.max(0, (double) (time - createdAt - objectiveNs) / objectiveNs);
-        if (settings.worthHalves()) {
-            return priorityWeight * Math.max(requestClass.lateWorth(), Math.pow(0.5, late));
+        if (settings.halvesWhenLate()) {
+            return priorityWeight * Math.max(requestClass.lateWeight(), Math.pow(0.5, late));
         }
         double span = (double) (requestClass.deadlineNs() - objectiveNs) / objectiveNs;
         double spent = Math.min(1, late / Math.max(1e-9, span));
-        return priorityWeight * (1 - (1 - requestClass.lateWorth()) * spent);
+        return priorityWeight * (1 - (1 - requestClass.lateWeight()) * spent);
     }
 
     /**
@@ -81,14 +81,14 @@
     }
 
     boolean isSafe() {
-        return requestClass.effect() == Sender.Effect.SAFE;
+        return requestClass.idempotency() == Idempotency.SAFE;
     }
 
     boolean isKeyed() {
-        return requestClass.effect() == Sender.Effect.KEYED;
+        return requestClass.idempotency() == Idempotency.KEYED;
     }
 
     boolean isUnsafe() {
-        return requestClass.effect() == Sender.Effect.UNSAFE;
+        return requestClass.idempotency() == Idempotency.UNSAFE;
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/policy/PolicyActions.java
@@ -0,0 +1,28 @@
+package elderseam.policy;
+
+/** What a policy asks of its host, which carries it out in order, at the time of the event. */
+public interface PolicyActions {
+    /** Starts the next attempt of a request; those of one turn at one endpoint share calls as the batch allows. */
+    void send(String id, String endpoint, long stopAt);
+
+    /** Stops waiting for an attempt, counted from 0; it ends as CANCELLED or as it was about to. */
+    void cancel(String id, int attempt);
+
+    /** Final answer: rejected; repeating the request is harmless, after {@code retryAfterNs}. */
+    void reject(String id, long retryAfterNs);
+
+    /** Final answer: failed, and it may have taken effect. */
+    void fail(String id);
+
+    /** Calls {@link PolicyEvents#timer} with the token once, at or after this many nanoseconds from now. */
+    void timer(long token, long afterNs);
+
+    /** Closes the idle connections that this sender holds to an endpoint. */
+    void disconnect(String endpoint);
+
+    /** Subscribes to changes of the endpoint list from now on. */
+    void subscribe();
+
+    /** A change of state worth a line: which destination, why, and the figures behind it. */
+    void log(String text);
+}
--- a/src/main/java/elderseam/policy/PolicyContext.java
+++ b/src/main/java/elderseam/policy/PolicyContext.java
@@ -13,8 +13,8 @@
     /** Hosts may round times to this; no timer is set for less. */
     static final long TICK_NS = 5_000_000L;
 
-    final Sender.Settings settings;
-    final Sender.Actions actions;
+    final PolicySettings settings;
+    final PolicyActions actions;
     /** The only source of random numbers; seeded, so the order in which it is drawn from is part of the behaviour. */
     final SplittableRandom random;
 
@@ -35,11 +35,11 @@
     /** When something may change next without an event; collected anew in each turn. */
     long nextDecisionAt = Long.MAX_VALUE;
 
-    PolicyContext(Sender.Settings settings, long seed, Sender.Actions actions) {
+    PolicyContext(PolicySettings settings, long seed, PolicyActions actions) {
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
-        this.senderCount = settings.senders();
+        this.senderCount = settings.senderCount();
         this.latency = new NetworkLatency(settings);
     }
 
--- a/src/main/java/elderseam/policy/PolicySnapshot.java
+++ b/src/main/java/elderseam/policy/PolicySnapshot.java
@@ -13,9 +13,9 @@
     private PolicySnapshot() {}
 
     /** The endpoints with all that is known of them and of their groups. */
-    static void transfer(Sender.Ledger snapshot, EndpointDirectory directory) {
+    static void transfer(SnapshotCursor snapshot, EndpointDirectory directory) {
         List<EndpointState> known = new ArrayList<>(directory.endpoints.values());
-        long count = snapshot.whole(known.size());
+        long count = snapshot.integer(known.size());
         Set<EndpointGroup> transferred = new HashSet<>();
         for (int i = 0; i < count; i++) {
             EndpointState endpoint = endpoint(snapshot, directory, i < known.size() ? known.get(i) : null);
@@ -27,19 +27,18 @@
     }
 
     /** Writes the key figures of a known endpoint; where it is null, reads them and adds the endpoint. */
-    private static EndpointState endpoint(Sender.Ledger snapshot, EndpointDirectory directory, EndpointState known) {
+    private static EndpointState endpoint(SnapshotCursor snapshot, EndpointDirectory directory, EndpointState known) {
         String address = snapshot.text(known == null ? "" : known.address);
-        long destination = snapshot.whole(known == null ? 0 : known.destination.id);
-        long kind = snapshot.whole(known == null ? 0 : known.destination.kindIndex);
-        long zone = snapshot.whole(known == null ? 0 : known.zone);
+        long destination = snapshot.integer(known == null ? 0 : known.destination.id);
+        long kind = snapshot.integer(known == null ? 0 : known.destination.kindIndex);
+        long zone = snapshot.integer(known == null ? 0 : known.zone);
         if (known != null) {
             return known;
         }
-        return directory.add(
-                new Sender.Endpoint(address, destination, (int) kind, (int) zone, Sender.Listing.READY, 0));
+        return directory.add(new ListedEndpoint(address, destination, (int) kind, (int) zone, EndpointStatus.READY, 0));
     }
 
-    private static void transfer(Sender.Ledger snapshot, EndpointState endpoint) {
+    private static void transfer(SnapshotCursor snapshot, EndpointState endpoint) {
         endpoint.ready = snapshot.flag(endpoint.ready);
         endpoint.removed = snapshot.flag(endpoint.removed);
         endpoint.listedBefore = true;
@@ -48,28 +47,28 @@
         endpoint.coldSince = snapshot.time(endpoint.coldSince);
         endpoint.nextColdCallAt = snapshot.time(endpoint.nextColdCallAt);
         for (int i = 0; i < endpoint.failures.length; i++) {
-            endpoint.failures[i] = (int) snapshot.whole(endpoint.failures[i]);
+            endpoint.failures[i] = (int) snapshot.integer(endpoint.failures[i]);
             endpoint.ejectedUntil[i] = snapshot.time(endpoint.ejectedUntil[i]);
         }
     }
 
     /** The figures of the parts stand mixed, in the order of the format. */
-    private static void transfer(Sender.Ledger snapshot, EndpointGroup group) {
+    private static void transfer(SnapshotCursor snapshot, EndpointGroup group) {
         CircuitBreaker breaker = group.breaker;
         RateController rate = group.rate;
         LatencyTracker latency = group.latency;
-        breaker.state = BreakerState.values()[(int) snapshot.whole(breaker.state.ordinal())];
+        breaker.state = BreakerState.values()[(int) snapshot.integer(breaker.state.ordinal())];
         breaker.openedByHang = snapshot.flag(breaker.openedByHang);
         long openUntil = snapshot.time(breaker.openUntil);
         long retryAfterUntil = snapshot.time(rate.retryAfterUntil);
         // open for a Retry-After alone, it wakes with the end of that
-        breaker.openUntil = openUntil > retryAfterUntil ? openUntil : snapshot.ends(openUntil);
-        rate.retryAfterUntil = snapshot.ends(retryAfterUntil);
+        breaker.openUntil = openUntil > retryAfterUntil ? openUntil : snapshot.waitEnd(openUntil);
+        rate.retryAfterUntil = snapshot.waitEnd(retryAfterUntil);
         latency.lastSuccessAt = snapshot.time(latency.lastSuccessAt);
         latency.latestAnsweredStart = snapshot.time(latency.latestAnsweredStart);
         breaker.failuresSince = snapshot.time(breaker.failuresSince);
         breaker.outageStart = snapshot.time(breaker.outageStart);
-        breaker.consecutiveFailures = (int) snapshot.whole(breaker.consecutiveFailures);
+        breaker.consecutiveFailures = (int) snapshot.integer(breaker.consecutiveFailures);
         latency.baselineLatencyNs = snapshot.real(latency.baselineLatencyNs);
         latency.recentLatencyNs = snapshot.real(latency.recentLatencyNs);
         group.estimate.advertised = snapshot.real(group.estimate.advertised);
@@ -79,8 +78,8 @@
         rate.tokens = snapshot.real(rate.tokens);
         breaker.failureRateEwma = snapshot.real(breaker.failureRateEwma);
         rate.refilledAt = snapshot.time(rate.refilledAt);
-        rate.pauseUntil = snapshot.ends(snapshot.time(rate.pauseUntil));
-        rate.pauseNs = snapshot.whole(rate.pauseNs);
+        rate.pauseUntil = snapshot.waitEnd(snapshot.time(rate.pauseUntil));
+        rate.pauseNs = snapshot.integer(rate.pauseNs);
         rate.lastCutAt = snapshot.time(rate.lastCutAt);
         rate.lastFullAt = snapshot.time(rate.lastFullAt);
         rate.lastFaultAt = snapshot.time(rate.lastFaultAt);
--- a/src/main/java/elderseam/policy/RateController.java
+++ b/src/main/java/elderseam/policy/RateController.java
@@ -49,22 +49,22 @@
         this.refilledAt = now;
         this.lastCutAt = now - RollingWindow.LENGTH_NS;
         this.lastFullAt = lastCutAt;
-        this.lastFaultAt = now - context.settings.coldNs();
+        this.lastFaultAt = now - context.settings.warmUpNs();
     }
 
     /** The rate that a group withstands which is cold since {@code since}. */
     double slowStartRate(long now, long since) {
-        Sender.Settings settings = context.settings;
+        PolicySettings settings = context.settings;
         double base = Math.max(estimate.typicalRate, estimate.share());
         base = base > 0 ? base : RateEstimate.UNKNOWN_RATE / context.senderCount;
-        base *= Math.max(1, settings.fallMultiple() / COLD_MARGIN);
-        double warm = Math.min(1, (double) (now - since) / Math.max(1, settings.coldNs()));
-        return base * (settings.coldShare() + (1 - settings.coldShare()) * warm);
+        base *= Math.max(1, settings.overloadMultiple() / COLD_MARGIN);
+        double warm = Math.min(1, (double) (now - since) / Math.max(1, settings.warmUpNs()));
+        return base * (settings.coldRateRatio() + (1 - settings.coldRateRatio()) * warm);
     }
 
     /** The rate at present; ends the slow start when it is over. */
     private double currentRate(long now) {
-        if (warmingUp && now - warmUpStart >= context.settings.coldNs()) {
+        if (warmingUp && now - warmUpStart >= context.settings.warmUpNs()) {
             warmingUp = false;
         }
         return warmingUp ? Math.min(pace, slowStartRate(now, warmUpStart)) : pace;
@@ -154,7 +154,7 @@
     /** Pauses after "full" or a failure, each time longer; {@code waitNs}: Retry-After, or 0. */
     void backOff(long waitNs, long now) {
         double crowding = estimate.crowding(0);
-        double limit = now - lastFaultAt < context.settings.coldNs() ? MAX_CROWDING : MAX_CROWDING_AT_LIMIT;
+        double limit = now - lastFaultAt < context.settings.warmUpNs() ? MAX_CROWDING : MAX_CROWDING_AT_LIMIT;
         double first = FIRST_PAUSE_NS * Math.min(limit, crowding);
         double next = pauseNs == 0 ? first : pauseNs * (1 + Math.min(MAX_PAUSE_GROWTH, crowding));
         pauseNs = (long) Math.min(MAX_PAUSE_NS * crowding, next);
@@ -168,14 +168,14 @@
     }
 
     /** An answer told the destination's limit and how much of it is left. */
-    void onReport(Sender.Report report, long now) {
+    void onReport(LimitReport report, long now) {
         if (report.limitPerS() <= 0) {
             return;
         }
         estimate.advertised = report.limitPerS();
         limitReported = true;
-        headroom = report.shareLeft() >= AMPLE_HEADROOM;
-        if (report.shareLeft() < SCARCE_HEADROOM) {
+        headroom = report.headroom() >= AMPLE_HEADROOM;
+        if (report.headroom() < SCARCE_HEADROOM) {
             pace = Math.min(pace, Math.max(MIN_PACE, estimate.share()));
             lastFullAt = now;
             advertisedAtCut = estimate.advertised;
--- a/src/main/java/elderseam/policy/RateEstimate.java
+++ b/src/main/java/elderseam/policy/RateEstimate.java
@@ -52,9 +52,9 @@
      * @param returningSenders how many are expected, if more than share the destination
      */
     double crowding(double returningSenders) {
-        Sender.Settings settings = context.settings;
-        double withstood = settings.coldShare()
-                * settings.fallMultiple()
+        PolicySettings settings = context.settings;
+        double withstood = settings.coldRateRatio()
+                * settings.overloadMultiple()
                 * warmRate()
                 * CircuitBreaker.SLEEP_WINDOW_NS
                 / PolicyContext.SECOND_NS;
@@ -63,7 +63,7 @@
 
     /** The rate for all senders that a warm destination is sure to take. */
     private double warmRate() {
-        if (context.settings.rates() == Sender.Rates.EXACT && advertised > 0) {
+        if (context.settings.weightPrecision() == WeightPrecision.EXACT && advertised > 0) {
             return advertised;
         }
         double rate = advertised > 0 ? advertised / ROUGH_WEIGHT_ERROR : UNKNOWN_RATE;
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -102,7 +102,7 @@
 
     /** A trial should risk little, then be worth much. */
     private static boolean isBetterTrial(PendingRequest request, PendingRequest than) {
-        int risk = request.requestClass.effect().compareTo(than.requestClass.effect());
+        int risk = request.requestClass.idempotency().compareTo(than.requestClass.idempotency());
         return risk < 0 || risk == 0 && request.priority > than.priority;
     }
 
--- a/src/main/java/elderseam/policy/RequestTable.java
+++ b/src/main/java/elderseam/policy/RequestTable.java
@@ -39,10 +39,7 @@
 
     /** Adds a request that has just arrived; it waits at its destination. */
     PendingRequest add(
-            Sender.Message message,
-            Sender.MessageClass requestClass,
-            DestinationState destination,
-            double priorityWeight) {
+            PolicyRequest message, RequestClass requestClass, DestinationState destination, double priorityWeight) {
         OrderedKeyQueue keyQueue = null;
         if (requestClass.ordered() && message.orderKey() >= 0) {
             keyQueue = keyQueues.computeIfAbsent(message.orderKey(), key -> new OrderedKeyQueue());
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -1,7 +1,5 @@
 package elderseam.policy;
 
-import elderseam.policy.Sender.Result;
-
 /**
  * Decides whether, when and where a request may be attempted again, within its idempotency and the destination's
  * retry budget, and which overdue attempts are cancelled for it. Times are nanoseconds of the host's clock; confined
@@ -54,8 +52,8 @@
     }
 
     /** Notes what an attempt that ended may have done. */
-    void onEnded(PendingRequest request, AttemptRecord call, Result result, long now) {
-        if (result.neverRan || result == Result.DELIVERED) {
+    void onEnded(PendingRequest request, AttemptRecord call, AttemptResult result, long now) {
+        if (result.neverRan || result == AttemptResult.DELIVERED) {
             return;
         }
         if (!request.mayHaveRun) {
@@ -63,14 +61,14 @@
             request.keyZone = call.endpoint.zone;
             request.keyValidUntil = call.start + request.requestClass.keyWindowNs();
         }
-        if (request.keyQueue != null && result != Result.ERROR) {
+        if (request.keyQueue != null && result != AttemptResult.ERROR) {
             request.keyQueue.rest(now + context.settings.keyRestNs());
         }
     }
 
     /** Sets when the request may be attempted again after this outcome. */
-    void scheduleRetry(PendingRequest request, Sender.Outcome outcome, long now) {
-        if (outcome.result() != Result.FULL && outcome.result() != Result.NOT_SENT) {
+    void scheduleRetry(PendingRequest request, CompletedAttempt outcome, long now) {
+        if (outcome.result() != AttemptResult.FULL && outcome.result() != AttemptResult.NOT_SENT) {
             long backoffNs = withinBudget(request, now)
                     ? FIRST_BACKOFF_NS << Math.min(MAX_BACKOFF_DOUBLINGS, request.attempts - 1)
                     : BACKOFF_OVER_BUDGET_NS;
--- a/src/main/java/elderseam/policy/RollingWindow.java
+++ b/src/main/java/elderseam/policy/RollingWindow.java
@@ -81,7 +81,7 @@
     }
 
     /** Passes the counts through the snapshot by age, since the buckets of another clock begin elsewhere. */
-    void transfer(Sender.Ledger snapshot) {
+    void transfer(SnapshotCursor snapshot) {
         boolean started = snapshot.flag(newestBucket != NOT_STARTED);
         if (!started) {
             return;
@@ -92,8 +92,8 @@
         totalFailures = 0;
         for (int age = 0; age < BUCKETS; age++) {
             int i = index(newest - age);
-            calls[i] = (int) snapshot.whole(calls[i]);
-            failures[i] = (int) snapshot.whole(failures[i]);
+            calls[i] = (int) snapshot.integer(calls[i]);
+            failures[i] = (int) snapshot.integer(failures[i]);
             totalCalls += calls[i];
             totalFailures += failures[i];
         }
--- a/src/main/java/elderseam/policy/TenantQuotas.java
+++ b/src/main/java/elderseam/policy/TenantQuotas.java
@@ -8,14 +8,14 @@
     private static final double INITIAL_S = 2;
     private static final double MAX_SAVED_S = 5;
 
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     /** By number of the tenant. */
     private final List<TokenBucket> buckets = new ArrayList<>();
 
-    TenantQuotas(Sender.Settings settings) {
+    TenantQuotas(PolicySettings settings) {
         this.settings = settings;
         for (double rate : settings.tenantRates()) {
-            buckets.add(new TokenBucket(INITIAL_S * rate / settings.senders()));
+            buckets.add(new TokenBucket(INITIAL_S * rate / settings.senderCount()));
         }
     }
 
@@ -33,7 +33,7 @@
         return tenant < 0 || tenant >= buckets.size() || buckets.get(tenant).take();
     }
 
-    void transfer(Sender.Ledger snapshot) {
+    void transfer(SnapshotCursor snapshot) {
         buckets.forEach(bucket -> bucket.transfer(snapshot));
     }
 }
--- a/src/main/java/elderseam/policy/TicketPool.java
+++ b/src/main/java/elderseam/policy/TicketPool.java
@@ -27,7 +27,7 @@
     }
 
     /** The most calls in flight over all groups of a destination: three quarters of the sender's slots. */
-    static int maxPerDestination(Sender.Settings settings) {
+    static int maxPerDestination(PolicySettings settings) {
         return Math.max(1, settings.slots() * 3 / 4);
     }
 
--- a/src/main/java/elderseam/policy/TokenBucket.java
+++ b/src/main/java/elderseam/policy/TokenBucket.java
@@ -31,7 +31,7 @@
         return true;
     }
 
-    void transfer(Sender.Ledger snapshot) {
+    void transfer(SnapshotCursor snapshot) {
         tokens = snapshot.real(tokens);
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -5,7 +5,10 @@
 import elderseam.core.EndpointCall.End;
 import elderseam.core.EndpointCall.Status;
 import elderseam.core.FinalOutcome;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.Idempotency;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -58,14 +61,14 @@
     }
 
     @Override
-    public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
-        if (kind == Sender.ListKind.WHOLE) {
+    public void hosts(ListUpdateKind kind, List<ListedEndpoint> list) {
+        if (kind == ListUpdateKind.COMPLETE) {
             endpoints.clear();
         }
-        for (Sender.Endpoint e : list) {
+        for (ListedEndpoint e : list) {
             List<String> of = endpoints.computeIfAbsent(e.destination(), d -> new ArrayList<>());
             of.remove(e.address());
-            if (e.listing() == Sender.Listing.READY) {
+            if (e.status() == EndpointStatus.READY) {
                 of.add(e.address());
             }
             policy.listed(e);
@@ -169,8 +172,8 @@
 
     private static boolean mayRepeat(Held h, long now) {
         return !h.maybeRan
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.SAFE
-                || Policies.CLASSES.get(h.m.cls()).effect() == Sender.Effect.KEYED
+                || Policies.CLASSES.get(h.m.cls()).idempotency() == Idempotency.SAFE
+                || Policies.CLASSES.get(h.m.cls()).idempotency() == Idempotency.KEYED
                         && now
                                         - (h.m.deadline()
                                                 - Policies.CLASSES
--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -3,7 +3,7 @@
 import elderseam.core.ActiveRequest;
 import elderseam.core.EndpointCall.End;
 import elderseam.core.EndpointCall.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.ListedEndpoint;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +27,7 @@
 
     abstract Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now);
 
-    void listed(Sender.Endpoint e) {}
+    void listed(ListedEndpoint e) {}
 
     void sent(long destination, String endpoint, long now) {}
 
@@ -74,7 +74,7 @@
         private final Map<Long, double[]> buckets = new HashMap<>(); // tokens, when, rate
 
         @Override
-        void listed(Sender.Endpoint e) {
+        void listed(ListedEndpoint e) {
             buckets.computeIfAbsent(e.destination(), d -> new double[] {e.weight() / 4, 0, 0})[2] = e.weight();
         }
 
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDispatcher.java
@@ -4,7 +4,9 @@
 import elderseam.core.AttemptListener;
 import elderseam.core.EndpointCall;
 import elderseam.core.FinalOutcome;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.util.List;
 import java.util.function.BiConsumer;
 
@@ -38,13 +40,13 @@
     /** As {@link elderseam.core.RequestDispatcher#take}: null where it was taken on. */
     FinalOutcome take(ActiveRequest.Message m);
 
-    void hosts(Sender.ListKind kind, List<Sender.Endpoint> list);
+    void hosts(ListUpdateKind kind, List<ListedEndpoint> list);
 
     /** The process is to end by that time. */
     default void closing(long end) {}
 
     /** How its breakers stand, where it has any. */
-    default void breakers(BiConsumer<Long, Sender.Breaker> each) {}
+    default void breakers(BiConsumer<Long, BreakerView> each) {}
 
     /** What others say of a destination, where it listens. */
     default void advise(long destination, double doubt, double trying) {}
--- a/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -4,7 +4,11 @@
 import elderseam.core.AttemptListener;
 import elderseam.core.EndpointCall;
 import elderseam.core.FinalOutcome;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.RequestClass;
 import elderseam.testkit.emulator.WorldListener.Msg;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -102,7 +106,7 @@
             instance = maker.make(this, store, seed * 1_000 + number * 31L + life);
             watcher.process(time.now(), number, true);
             seen(this, true);
-            instance.hosts(Sender.ListKind.WHOLE, list());
+            instance.hosts(ListUpdateKind.COMPLETE, list());
         }
 
         private void stop() {
@@ -120,7 +124,7 @@
     final WorldListener watcher;
     final Map<Long, EmulatedDestination> destinations = new LinkedHashMap<>();
     private final Map<String, Integer> attempts = new HashMap<>();
-    private final Map<String, Sender.Endpoint> listed = new LinkedHashMap<>();
+    private final Map<String, ListedEndpoint> listed = new LinkedHashMap<>();
     private final List<Seat> seats = new ArrayList<>();
     private final Policies.Maker maker;
     private final EmulatedNetwork network;
@@ -143,12 +147,12 @@
                         destinations.size() + 1, plan.kinds().get(k), seed, watcher);
                 destinations.put(d.id, d);
                 for (String e : d.endpoints) {
-                    listed.put(e, new Sender.Endpoint(e, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
+                    listed.put(e, new ListedEndpoint(e, d.id, k, 0, EndpointStatus.READY, d.kind.perS()));
                 }
                 if (draws.of("wrong").nextDouble() < plan.discovery().wrong()) {
                     listed.put(
                             "wrong" + d.id,
-                            new Sender.Endpoint("wrong" + d.id, d.id, k, 0, Sender.Listing.READY, d.kind.perS()));
+                            new ListedEndpoint("wrong" + d.id, d.id, k, 0, EndpointStatus.READY, d.kind.perS()));
                 }
             }
         }
@@ -167,7 +171,7 @@
         clients.begin();
         long end = (long) (plan.seconds() * S)
                 + Policies.CLASSES.stream()
-                        .mapToLong(Sender.MessageClass::deadlineNs)
+                        .mapToLong(RequestClass::deadlineNs)
                         .max()
                         .orElse(0)
                 + 2 * S;
@@ -183,7 +187,7 @@
     }
 
     /** How each dispatcher's breakers stand now. */
-    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
+    public void breakers(BiConsumer<Long, BreakerView> each) {
         seats.stream().filter(s -> s.up).forEach(s -> s.instance.breakers(each));
     }
 
@@ -254,20 +258,19 @@
         for (Scenario.Drain drain : plan.drains()) {
             for (EmulatedDestination d : part(drain.kind(), drain.part(), drain.name())) {
                 String e = d.endpoints[0];
-                time.at((long) (drain.at() * S), () -> listing(e, Sender.Listing.DRAINING));
-                time.at((long) (drain.at() * S) + DRAIN_NS, () -> listing(e, Sender.Listing.GONE));
+                time.at((long) (drain.at() * S), () -> listing(e, EndpointStatus.DRAINING));
+                time.at((long) (drain.at() * S) + DRAIN_NS, () -> listing(e, EndpointStatus.GONE));
             }
         }
     }
 
-    private void listing(String endpoint, Sender.Listing listing) {
-        Sender.Endpoint e = listed.get(endpoint);
+    private void listing(String endpoint, EndpointStatus listing) {
+        ListedEndpoint e = listed.get(endpoint);
         if (e == null) {
             return;
         }
-        Sender.Endpoint now =
-                new Sender.Endpoint(e.address(), e.destination(), e.kind(), e.zone(), listing, e.weight());
-        if (listing == Sender.Listing.GONE) {
+        ListedEndpoint now = new ListedEndpoint(e.address(), e.destination(), e.kind(), e.zone(), listing, e.weight());
+        if (listing == EndpointStatus.GONE) {
             listed.remove(endpoint);
         } else {
             listed.put(endpoint, now);
@@ -278,8 +281,8 @@
                     downTo = downFrom + (long) (plan.discovery().downFor() * S);
             time.at(at >= downFrom && at < downTo ? downTo : at, () -> {
                 if (s.up) {
-                    s.instance.hosts(Sender.ListKind.CHANGES, List.of(now));
-                    if (listing != Sender.Listing.READY) {
+                    s.instance.hosts(ListUpdateKind.CHANGES, List.of(now));
+                    if (listing != EndpointStatus.READY) {
                         watcher.drains(time.now(), s.number, endpoint);
                     }
                 }
@@ -287,7 +290,7 @@
         }
     }
 
-    private List<Sender.Endpoint> list() {
+    private List<ListedEndpoint> list() {
         return List.copyOf(listed.values());
     }
 
--- a/src/main/java/elderseam/testkit/emulator/PartitionView.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -3,7 +3,9 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.partition.EndpointSubsetting;
 import elderseam.fleet.partition.FleetSizeEstimator;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -55,14 +57,14 @@
         place.at(place.time().now(), this::look);
     }
 
-    void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
-        if (kind == Sender.ListKind.WHOLE) {
+    void hosts(ListUpdateKind kind, List<ListedEndpoint> list) {
+        if (kind == ListUpdateKind.COMPLETE) {
             listed.clear();
         }
-        for (Sender.Endpoint e : list) {
+        for (ListedEndpoint e : list) {
             List<String> of = listed.computeIfAbsent(e.destination(), d -> new ArrayList<>());
             of.remove(e.address());
-            if (e.listing() == Sender.Listing.READY) {
+            if (e.status() == EndpointStatus.READY) {
                 of.add(e.address());
             }
         }
--- a/src/main/java/elderseam/testkit/emulator/Policies.java
+++ b/src/main/java/elderseam/testkit/emulator/Policies.java
@@ -1,6 +1,12 @@
 package elderseam.testkit.emulator;
 
-import elderseam.policy.Sender;
+import elderseam.policy.ConnectionSettings;
+import elderseam.policy.DestinationKind;
+import elderseam.policy.Idempotency;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.PriceSettings;
+import elderseam.policy.RequestClass;
+import elderseam.policy.WeightPrecision;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,10 +16,10 @@
     static final long MS = 1_000_000, S = 1_000 * MS;
     static final long AGAIN_NS = 500 * MS; // a refusal's time to come back, of a plain policy
     /** The classes of every emulated world: safe to repeat, keyed, once only. */
-    public static final List<Sender.MessageClass> CLASSES = List.of(
-            new Sender.MessageClass(Sender.Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
-            new Sender.MessageClass(Sender.Effect.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
-            new Sender.MessageClass(Sender.Effect.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
+    public static final List<RequestClass> CLASSES = List.of(
+            new RequestClass(Idempotency.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
+            new RequestClass(Idempotency.KEYED, false, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
+            new RequestClass(Idempotency.UNSAFE, false, false, 3 * S, 28 * S, 5, 0.4, 0));
 
     public static final List<String> CLASS_NAMES = List.of("repeatable", "keyed", "once");
 
@@ -59,12 +65,12 @@
         return m;
     }
 
-    static Sender.Settings settings(Scenario p) {
+    static PolicySettings settings(Scenario p) {
         Scenario.Kind first = p.kinds().get(0);
         boolean told = p.kinds().stream().anyMatch(Scenario.Kind::report);
-        return new Sender.Settings(
+        return new PolicySettings(
                 CLASSES,
-                p.kinds().stream().map(k -> new Sender.Kind(false, 1)).toList(),
+                p.kinds().stream().map(k -> new DestinationKind(false, 1)).toList(),
                 java.util.Collections.nCopies(
                         p.clients().tenants(), p.rate() / p.clients().tenants() * 1.3),
                 p.fleet().slots(),
@@ -77,7 +83,7 @@
                 true,
                 false,
                 false,
-                told ? Sender.Rates.ROUGH : Sender.Rates.EXACT,
+                told ? WeightPrecision.ROUGH : WeightPrecision.EXACT,
                 3 * S,
                 2 * S,
                 first.coldShare(),
@@ -85,7 +91,7 @@
                 first.fallMultiple(),
                 first.fallMs() * MS,
                 100 * MS,
-                new Sender.Connections(Math.max(first.idleMs(), 0) * MS, 1, 1_500 * MS),
-                new Sender.Prices(0, 0, List.of()));
+                new ConnectionSettings(Math.max(first.idleMs(), 0) * MS, 1, 1_500 * MS),
+                new PriceSettings(0, 0, List.of()));
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -11,7 +11,9 @@
 import elderseam.core.InMemoryJournalStore;
 import elderseam.core.Journal;
 import elderseam.core.RequestDispatcher;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
@@ -68,8 +70,8 @@
 
     /** The first list brings back what an earlier process left. */
     @Override
-    public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
-        boolean first = kind == Sender.ListKind.WHOLE;
+    public void hosts(ListUpdateKind kind, List<ListedEndpoint> list) {
+        boolean first = kind == ListUpdateKind.COMPLETE;
         relay.hosts(kind, list);
         if (shares != null) {
             shares.hosts(kind, list);
@@ -85,7 +87,7 @@
     }
 
     @Override
-    public void breakers(BiConsumer<Long, Sender.Breaker> each) {
+    public void breakers(BiConsumer<Long, BreakerView> each) {
         relay.breakers(each);
     }
 
--- a/src/main/java/elderseam/testkit/emulator/RunStatistics.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -2,7 +2,7 @@
 
 import elderseam.core.EndpointCall;
 import elderseam.core.FinalOutcome;
-import elderseam.policy.Sender;
+import elderseam.policy.RequestClass;
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
@@ -43,7 +43,7 @@
         handed++;
         if (!again) {
             messages++;
-            possible[second(m.born())] += Policies.CLASSES.get(m.cls()).worth();
+            possible[second(m.born())] += Policies.CLASSES.get(m.cls()).priorityWeight();
         }
     }
 
@@ -72,9 +72,11 @@
     }
 
     /** In time all of it; later half for each further aim, and no less than what is left at the deadline. */
-    private static double worth(Sender.MessageClass c, long took) {
-        double late = Math.max(0, (double) (took - c.aimNs()) / c.aimNs());
-        return took > c.deadlineNs() + 100 * MS ? 0 : c.worth() * Math.max(c.lateWorth(), Math.pow(0.5, late));
+    private static double worth(RequestClass c, long took) {
+        double late = Math.max(0, (double) (took - c.latencyObjectiveNs()) / c.latencyObjectiveNs());
+        return took > c.deadlineNs() + 100 * MS
+                ? 0
+                : c.priorityWeight() * Math.max(c.lateWeight(), Math.pow(0.5, late));
     }
 
     @Override
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDestination.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDestination.java
@@ -1,6 +1,6 @@
 package elderseam.testkit.gossip;
 
-import elderseam.policy.Sender;
+import elderseam.policy.AttemptResult;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -26,7 +26,7 @@
     record Outage(long from, long to, Fault fault) {}
 
     /** What a call gets, and after how long; {@code waitNs}: a told wait. */
-    record Reply(Sender.Result result, long afterNs, long waitNs) {}
+    record Reply(AttemptResult result, long afterNs, long waitNs) {}
 
     final long id;
     final double perS;
@@ -76,9 +76,9 @@
             last = o;
             callsWhileDown++;
             return switch (o.fault) {
-                case REFUSES -> new Reply(Sender.Result.CONNECT_FAILED, MS, 0);
-                case HANGS -> new Reply(Sender.Result.TIMEOUT, patience, 0);
-                case ERRORS -> new Reply(Sender.Result.ERROR, 10 * MS, 0);
+                case REFUSES -> new Reply(AttemptResult.CONNECT_FAILED, MS, 0);
+                case HANGS -> new Reply(AttemptResult.TIMEOUT, patience, 0);
+                case ERRORS -> new Reply(AttemptResult.ERROR, 10 * MS, 0);
             };
         }
         if (last != null) { // it has come back, cold, at the end of that outage
@@ -86,7 +86,7 @@
             last = null;
         }
         if (now < downUntil) {
-            return new Reply(Sender.Result.ERROR, 10 * MS, 0);
+            return new Reply(AttemptResult.ERROR, 10 * MS, 0);
         }
         double fells = FALL_MULTIPLE * stands(now);
         load = Math.max(0, load - (now - loadAt) / (double) S * fells) + 1;
@@ -96,15 +96,15 @@
             downUntil = now + FALL_NS;
             warmFrom = downUntil;
             load = 0;
-            return new Reply(Sender.Result.ERROR, 10 * MS, 0);
+            return new Reply(AttemptResult.ERROR, 10 * MS, 0);
         }
         if (random.nextDouble() < (now >= sickFrom && now < sickTo ? SICK : SPORADIC)) {
-            return new Reply(Sender.Result.ERROR, 10 * MS, 0);
+            return new Reply(AttemptResult.ERROR, 10 * MS, 0);
         }
         if (now < shutUntil || load > Math.max(CHANCE, fells)) {
             shutUntil = Math.max(shutUntil, now + 500 * MS);
-            return new Reply(Sender.Result.FULL, 5 * MS, shutUntil - now);
+            return new Reply(AttemptResult.FULL, 5 * MS, shutUntil - now);
         }
-        return new Reply(Sender.Result.DELIVERED, (long) (USUAL_NS * (0.5 + random.nextDouble())), 0);
+        return new Reply(AttemptResult.DELIVERED, (long) (USUAL_NS * (0.5 + random.nextDouble())), 0);
     }
 }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -2,8 +2,21 @@
 
 import elderseam.gossip.GossipAgent;
 import elderseam.gossip.HealthReport;
+import elderseam.policy.AttemptResult;
+import elderseam.policy.CompletedAttempt;
+import elderseam.policy.ConnectionSettings;
+import elderseam.policy.DestinationKind;
 import elderseam.policy.DispatchPolicy;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.LimitReport;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyActions;
+import elderseam.policy.PolicyRequest;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.PriceSettings;
+import elderseam.policy.RequestClass;
+import elderseam.policy.WeightPrecision;
 import elderseam.testkit.emulator.Policies;
 import elderseam.testkit.emulator.VirtualTime;
 import java.util.ArrayList;
@@ -17,9 +30,9 @@
  * against the rules as it does it: one copy out, no second try of a once-only message that may have run, no call in a told
  * wait, no more calls than slots.
  */
-final class SimulatedDispatcher implements Sender.Actions, SimulatedFleet.Dispatching {
+final class SimulatedDispatcher implements PolicyActions, SimulatedFleet.Dispatching {
     private static final long MS = 1_000_000, S = 1_000 * MS;
-    private static final List<Sender.MessageClass> CLASSES = Policies.CLASSES;
+    private static final List<RequestClass> CLASSES = Policies.CLASSES;
 
     /** What it came to: of all messages, by worth; {@code broken}: rules broken. */
     record Tally(
@@ -77,9 +90,9 @@
         this.all = shares.values().stream().mapToDouble(s -> s).sum();
         this.random = random;
         this.slots = 32;
-        Sender.Settings settings = new Sender.Settings(
+        PolicySettings settings = new PolicySettings(
                 CLASSES,
-                List.of(new Sender.Kind(false, 1)),
+                List.of(new DestinationKind(false, 1)),
                 List.of(),
                 slots,
                 400,
@@ -91,7 +104,7 @@
                 true,
                 false,
                 false,
-                Sender.Rates.EXACT,
+                WeightPrecision.EXACT,
                 2 * S,
                 250 * MS,
                 SimulatedDestination.COLD_SHARE,
@@ -99,13 +112,13 @@
                 SimulatedDestination.FALL_MULTIPLE,
                 SimulatedDestination.FALL_NS,
                 100 * MS,
-                new Sender.Connections(5 * S, 1, 1_500 * MS),
-                new Sender.Prices(0, 0, List.of()));
+                new ConnectionSettings(5 * S, 1, 1_500 * MS),
+                new PriceSettings(0, 0, List.of()));
         this.brain = new DispatchPolicy(settings, random.nextLong(), this);
-        List<Sender.Endpoint> list = partners.values().stream()
-                .map(p -> new Sender.Endpoint("p" + p.id, p.id, 0, 0, Sender.Listing.READY, p.perS))
+        List<ListedEndpoint> list = partners.values().stream()
+                .map(p -> new ListedEndpoint("p" + p.id, p.id, 0, 0, EndpointStatus.READY, p.perS))
                 .toList();
-        brain.endpoints(time.now(), Sender.ListKind.WHOLE, list);
+        brain.endpoints(time.now(), ListUpdateKind.COMPLETE, list);
     }
 
     /** Clients hand in until then, at random times. */
@@ -145,11 +158,11 @@
     private void handIn(Held m, boolean again) {
         if (!again) {
             messages++;
-            possible += CLASSES.get(m.cls).worth();
+            possible += CLASSES.get(m.cls).priorityWeight();
         }
         held.put(m.id, m);
         event(() ->
-                brain.message(time.now(), new Sender.Message(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
+                brain.request(time.now(), new PolicyRequest(m.id, m.cls, -1, -1, m.deadline, m.destination, again)));
     }
 
     /** Each event is a turn of its own. */
@@ -188,25 +201,25 @@
         boolean lost = r.afterNs() >= stopAt - now - 50 * MS;
         long end = lost ? Math.max(now, stopAt - 50 * MS) : now + r.afterNs();
         SimulatedDestination.Reply told =
-                lost ? new SimulatedDestination.Reply(Sender.Result.TIMEOUT, end - now, 0) : r;
+                lost ? new SimulatedDestination.Reply(AttemptResult.TIMEOUT, end - now, 0) : r;
         after.add(() -> time.at(end, () -> ended(m, attempt, endpoint, now, told)));
     }
 
     private void ended(Held m, int attempt, String endpoint, long start, SimulatedDestination.Reply r) {
-        if (m.out != attempt || held.get(m.id) != m && r.result() != Sender.Result.CANCELLED) {
+        if (m.out != attempt || held.get(m.id) != m && r.result() != AttemptResult.CANCELLED) {
             return; // cut short before
         }
         long now = time.now();
         m.out = -1;
         out--;
-        m.maybeRan |= !r.result().neverRan && r.result() != Sender.Result.DELIVERED;
-        boolean done = r.result() == Sender.Result.DELIVERED;
+        m.maybeRan |= !r.result().neverRan && r.result() != AttemptResult.DELIVERED;
+        boolean done = r.result() == AttemptResult.DELIVERED;
         if (done) {
             held.remove(m.id);
-            Sender.MessageClass c = CLASSES.get(m.cls);
-            double late = Math.max(0, (double) (now - m.born - c.aimNs()) / c.aimNs());
-            worth += c.worth() * Math.max(c.lateWorth(), Math.pow(0.5, late));
-        } else if (r.result() != Sender.Result.FULL && r.result() != Sender.Result.CANCELLED) {
+            RequestClass c = CLASSES.get(m.cls);
+            double late = Math.max(0, (double) (now - m.born - c.latencyObjectiveNs()) / c.latencyObjectiveNs());
+            worth += c.priorityWeight() * Math.max(c.lateWeight(), Math.pow(0.5, late));
+        } else if (r.result() != AttemptResult.FULL && r.result() != AttemptResult.CANCELLED) {
             failedCalls++;
         }
         if (r.waitNs() > 0) {
@@ -214,16 +227,8 @@
         }
         event(() -> brain.outcome(
                 now,
-                new Sender.Outcome(
-                        m.id,
-                        attempt,
-                        endpoint,
-                        r.result(),
-                        now - start,
-                        r.waitNs(),
-                        false,
-                        done,
-                        Sender.Report.NONE)));
+                new CompletedAttempt(
+                        m.id, attempt, endpoint, r.result(), now - start, r.waitNs(), false, done, LimitReport.NONE)));
     }
 
     @Override
@@ -239,12 +244,12 @@
                             attempt,
                             "p" + m.destination,
                             now,
-                            new SimulatedDestination.Reply(Sender.Result.CANCELLED, 0, 0))));
+                            new SimulatedDestination.Reply(AttemptResult.CANCELLED, 0, 0))));
         }
     }
 
     @Override
-    public void refuse(String id, long retryAfterNs) {
+    public void reject(String id, long retryAfterNs) {
         refusals++;
         Held m = held.remove(id);
         if (m.out >= 0 || m.maybeRan && m.cls == 2) {
@@ -293,14 +298,14 @@
                 time.now(),
                 (id, b) -> all.add(new GossipAgent.Own(
                         id,
-                        switch (b.standing()) {
+                        switch (b.state()) {
                             case CLOSED -> HealthReport.State.CLOSED;
                             case HALF_OPEN -> HealthReport.State.HALF_OPEN;
                             case OPEN -> HealthReport.State.OPEN;
                         },
                         (int) (Math.max(0, b.waitNs()) / MS),
                         b.calls(),
-                        b.failed())));
+                        b.failures())));
         return all;
     }
 
--- a/src/main/java/elderseam/testkit/lab/ExperimentRun.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -1,7 +1,8 @@
 package elderseam.testkit.lab;
 
 import elderseam.core.JsonValue;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.BreakerView;
 import elderseam.testkit.emulator.EmulatedWorld;
 import elderseam.testkit.emulator.Policies;
 import elderseam.testkit.emulator.RuleCheckers;
@@ -81,9 +82,8 @@
                 latencies);
     }
 
-    private static void look(Map<Long, byte[]> lines, long d, Sender.Breaker b, int second, int seconds) {
-        byte state =
-                (byte) (b.standing() == Sender.Standing.CLOSED ? 0 : b.standing() == Sender.Standing.HALF_OPEN ? 1 : 2);
+    private static void look(Map<Long, byte[]> lines, long d, BreakerView b, int second, int seconds) {
+        byte state = (byte) (b.state() == BreakerState.CLOSED ? 0 : b.state() == BreakerState.HALF_OPEN ? 1 : 2);
         if (state > 0) {
             byte[] line = lines.computeIfAbsent(d, x -> new byte[seconds]);
             line[second] = (byte) Math.max(line[second], state);
--- a/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
+++ b/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
@@ -1,7 +1,11 @@
 package elderseam.testkit.simulator;
 
+import elderseam.policy.CompletedAttempt;
 import elderseam.policy.DispatchPolicy;
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyActions;
+import elderseam.policy.PolicyRequest;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -22,7 +26,7 @@
     private final StringBuilder reply = new StringBuilder(1 << 16);
     private final Map<String, Courier> couriers = new HashMap<>();
     private final List<Courier> active = new ArrayList<>();
-    private final List<List<Sender.Endpoint>> lists = new ArrayList<>();
+    private final List<List<ListedEndpoint>> lists = new ArrayList<>();
     private long lineNo;
     private long turns;
 
@@ -92,7 +96,7 @@
         int slot = f.index("list slot", SLOTS);
         int rows = f.index("row count", Integer.MAX_VALUE);
         f.end();
-        List<Sender.Endpoint> entries = new ArrayList<>(Math.min(rows, 4096));
+        List<ListedEndpoint> entries = new ArrayList<>(Math.min(rows, 4096));
         for (int i = 0; i < rows; i++) {
             LineFields r = new LineFields(nextInBatch(), lineNo);
             if (!r.text("message name").equals("ROW")) {
@@ -103,7 +107,7 @@
         lists.set(slot, entries);
     }
 
-    private List<Sender.Endpoint> list(String slot, LineFields f) {
+    private List<ListedEndpoint> list(String slot, LineFields f) {
         long number = f.number(slot, "list slot");
         if (number < 0 || number >= SLOTS || lists.get((int) number) == null) {
             throw f.fault("no list in slot " + number);
@@ -148,18 +152,18 @@
                 return null;
             case "UPDATE": {
                 String slot = f.text("list slot");
-                Sender.ListKind kind = WireCodec.listKind(f);
+                ListUpdateKind kind = WireCodec.listKind(f);
                 f.numberOr("generation", 0);
                 f.end();
-                List<Sender.Endpoint> entries = kind == Sender.ListKind.FAILED ? List.of() : list(slot, f);
+                List<ListedEndpoint> entries = kind == ListUpdateKind.FAILED ? List.of() : list(slot, f);
                 return () -> c.brain.endpoints(now, kind, entries);
             }
             case "SUBMIT": {
-                Sender.Message m = WireCodec.message(f);
-                return () -> c.brain.message(now, m);
+                PolicyRequest m = WireCodec.message(f);
+                return () -> c.brain.request(now, m);
             }
             case "RESPONSE": {
-                Sender.Outcome o = WireCodec.outcome(f);
+                CompletedAttempt o = WireCodec.outcome(f);
                 return () -> c.brain.outcome(now, o);
             }
             case "LAPSED": {
@@ -189,7 +193,7 @@
     }
 
     /** One courier: writes its module's actions to the reply. */
-    private final class Courier implements Sender.Actions {
+    private final class Courier implements PolicyActions {
         private final String id;
         private DispatchPolicy brain;
         private long turn;
@@ -233,7 +237,7 @@
         }
 
         @Override
-        public void refuse(String corr, long retryAfterNs) {
+        public void reject(String corr, long retryAfterNs) {
             line("BOUNCE")
                     .append(' ')
                     .append(corr)
--- a/src/main/java/elderseam/testkit/simulator/WireCodec.java
+++ b/src/main/java/elderseam/testkit/simulator/WireCodec.java
@@ -1,11 +1,14 @@
 package elderseam.testkit.simulator;
 
 import elderseam.core.SettingsMap;
-import elderseam.policy.Sender;
-import elderseam.policy.Sender.ListKind;
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Report;
-import elderseam.policy.Sender.Result;
+import elderseam.policy.AttemptResult;
+import elderseam.policy.CompletedAttempt;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.LimitReport;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyRequest;
+import elderseam.policy.PolicySettings;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -16,32 +19,32 @@
 
     private WireCodec() {}
 
-    static Sender.Endpoint endpoint(LineFields f) {
+    static ListedEndpoint endpoint(LineFields f) {
         f.numberOr("upSinceNs", 0);
         String address = f.text("endpoint");
-        Listing listing = switch (f.index("readiness", 3)) {
-            case 0 -> Listing.DRAINING;
-            case 1 -> Listing.GONE;
-            default -> Listing.READY;
+        EndpointStatus listing = switch (f.index("readiness", 3)) {
+            case 0 -> EndpointStatus.DRAINING;
+            case 1 -> EndpointStatus.GONE;
+            default -> EndpointStatus.READY;
         };
         long destination = f.number("belongsTo");
         int kind = f.index("hw", Integer.MAX_VALUE);
         double weight = f.real("heft");
         int zone = f.index("regionPart", Integer.MAX_VALUE);
         f.end();
-        return new Sender.Endpoint(address, destination, kind, zone, listing, weight);
+        return new ListedEndpoint(address, destination, kind, zone, listing, weight);
     }
 
-    static ListKind listKind(LineFields f) {
+    static ListUpdateKind listKind(LineFields f) {
         return switch (f.index("mode", 4)) {
-            case 0 -> ListKind.CHANGES;
-            case 1 -> ListKind.WHOLE;
-            case 2 -> ListKind.CACHED;
-            default -> ListKind.FAILED;
+            case 0 -> ListUpdateKind.CHANGES;
+            case 1 -> ListUpdateKind.COMPLETE;
+            case 2 -> ListUpdateKind.CACHED;
+            default -> ListUpdateKind.FAILED;
         };
     }
 
-    static Sender.Message message(LineFields f) {
+    static PolicyRequest message(LineFields f) {
         String id = f.text("corr");
         int cls = f.index("cls", Integer.MAX_VALUE);
         int tenant = (int) f.numberOr("userGroup", 0);
@@ -51,22 +54,30 @@
         long destination = (long) f.real("dest");
         long flags = f.numberOr("flags", 0);
         f.end();
-        return new Sender.Message(id, cls, tenant, key, deadline, destination, (flags & AGAIN) != 0);
+        return new PolicyRequest(id, cls, tenant, key, deadline, destination, (flags & AGAIN) != 0);
     }
 
-    static Sender.Outcome outcome(LineFields f) {
+    static CompletedAttempt outcome(LineFields f) {
         String id = f.text("corr");
         long detail = f.numberOr("detail", 0);
         String endpoint = f.text("endpoint");
         boolean over = f.flag("noMore");
         long latency = f.number("latencyNs");
-        Result result = result(f);
+        AttemptResult result = result(f);
         int attempt = f.index("attempt", Integer.MAX_VALUE);
-        Report report = report(f);
+        LimitReport report = report(f);
         f.end();
-        long wait = result == Result.FULL ? detail * NS_PER_MS : 0;
-        return new Sender.Outcome(
-                id, attempt, endpoint, result, latency, wait, result == Result.NOT_SENT && detail == 1, over, report);
+        long wait = result == AttemptResult.FULL ? detail * NS_PER_MS : 0;
+        return new CompletedAttempt(
+                id,
+                attempt,
+                endpoint,
+                result,
+                latency,
+                wait,
+                result == AttemptResult.NOT_SENT && detail == 1,
+                over,
+                report);
     }
 
     static void checked(LineFields f) {
@@ -85,25 +96,25 @@
         f.end();
     }
 
-    private static Result result(LineFields f) {
+    private static AttemptResult result(LineFields f) {
         long code = f.number("rc");
         return switch ((int) code) {
-            case 200 -> Result.DELIVERED;
-            case 502 -> Result.ERROR;
-            case 429 -> Result.FULL;
-            case 408 -> Result.TIMEOUT;
-            case 521 -> Result.CONNECT_FAILED;
-            case 520 -> Result.RESET;
-            case 444 -> Result.CANCELLED;
-            case 409 -> Result.NOT_SENT;
+            case 200 -> AttemptResult.DELIVERED;
+            case 502 -> AttemptResult.ERROR;
+            case 429 -> AttemptResult.FULL;
+            case 408 -> AttemptResult.TIMEOUT;
+            case 521 -> AttemptResult.CONNECT_FAILED;
+            case 520 -> AttemptResult.RESET;
+            case 444 -> AttemptResult.CANCELLED;
+            case 409 -> AttemptResult.NOT_SENT;
             default -> throw f.fault("unknown rc " + code);
         };
     }
 
-    private static Report report(LineFields f) {
+    private static LimitReport report(LineFields f) {
         String pairs = f.text("feedback");
         if (pairs.equals("-")) {
-            return Report.NONE;
+            return LimitReport.NONE;
         }
         double left = 0;
         double limit = 0;
@@ -119,10 +130,10 @@
                 limit = value;
             }
         }
-        return new Report(left, limit);
+        return new LimitReport(left, limit);
     }
 
-    static Sender.Settings settings(LineFields f) {
+    static PolicySettings settings(LineFields f) {
         Map<String, String> map = new HashMap<>();
         for (String pair : f.rest().split(" ")) {
             int eq = pair.indexOf('=');
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -187,7 +187,7 @@
         assertEquals(given.list(), newer.discovery.list());
         List<String> breakers = new ArrayList<>();
         newer.relay.breakers(
-                (destination, b) -> breakers.add(destination + " " + b.standing() + (b.waitNs() > 0 ? " waits" : "")));
+                (destination, b) -> breakers.add(destination + " " + b.state() + (b.waitNs() > 0 ? " waits" : "")));
         assertEquals(
                 List.of("1 CLOSED", "2 OPEN", "3 CLOSED waits", "4 CLOSED"),
                 breakers.stream().sorted().toList());
--- a/src/test/java/elderseam/core/RecoveryTest.java
+++ b/src/test/java/elderseam/core/RecoveryTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.Recovery.Stage;
-import elderseam.policy.Sender.Effect;
-import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.Idempotency;
+import elderseam.policy.RequestClass;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -16,10 +16,11 @@
 /** In what order, and in what portions, an earlier process's streams come back. */
 class RecoveryTest {
     private static final long NOW = 5_000 * Clock.MS, S = 1_000 * Clock.MS;
-    private static final List<MessageClass> CLASSES = List.of(cls(Effect.SAFE), cls(Effect.KEYED), cls(Effect.UNSAFE));
+    private static final List<RequestClass> CLASSES =
+            List.of(cls(Idempotency.SAFE), cls(Idempotency.KEYED), cls(Idempotency.UNSAFE));
 
-    private static MessageClass cls(Effect effect) {
-        return new MessageClass(effect, false, false, S, 10 * S, 1, 0, S);
+    private static RequestClass cls(Idempotency effect) {
+        return new RequestClass(effect, false, false, S, 10 * S, 1, 0, S);
     }
 
     private static ActiveRequest stream(String id, int cls, long deadline, boolean mayHaveRun, long keyUntil) {
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -8,7 +8,11 @@
 import elderseam.core.EndpointCall.End;
 import elderseam.core.EndpointCall.Progress;
 import elderseam.core.EndpointCall.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicySettings;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -37,7 +41,7 @@
     @BeforeEach
     void start() throws Exception {
         relay = another();
-        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.COMPLETE, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
     }
 
     /** One more on the same folder, as the next process has it. */
@@ -46,7 +50,7 @@
     }
 
     private RequestDispatcher another(Journal journal) {
-        Sender.Settings settings = new SettingsMap(Map.of(
+        PolicySettings settings = new SettingsMap(Map.of(
                         "discovery",
                         "ask",
                         "extra.callSlots",
@@ -127,7 +131,7 @@
     /** A failed watch has nothing to do but to be asked for later: the tick for that must not get lost. */
     @Test
     void aTickIsSetWhereNothingElseIsDone() {
-        relay.hosts(Sender.ListKind.FAILED, List.of());
+        relay.hosts(ListUpdateKind.FAILED, List.of());
         assertEquals(1, timers.size());
     }
 
@@ -139,7 +143,7 @@
                 relay.take(new ActiveRequest.Message("x", (byte) 0, 0, -1, 99, by, by, false, true, "", new byte[0]));
         assertEquals(FinalOutcome.Kind.REFUSED, answer.kind());
         assertEquals(0, Files.size(folder.resolve("journal")));
-        relay.hosts(Sender.ListKind.CHANGES, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.GONE, 100)));
+        relay.hosts(ListUpdateKind.CHANGES, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.GONE, 100)));
         assertNull(take("y"), "its last host left a moment ago: another may follow");
     }
 
@@ -210,7 +214,7 @@
                 1_000_000,
                 clock));
         writes[0] = 1_000;
-        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.COMPLETE, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         for (String id : List.of("a", "b", "c", "d", "e")) {
             writes[0] = 1; // its record, not that of its attempt
             assertNull(take(id));
@@ -218,7 +222,7 @@
         }
         assertEquals(0, out.size(), "nothing unrecorded left");
         int[] failed = {-1};
-        relay.breakers((destination, b) -> failed[0] = b.failed());
+        relay.breakers((destination, b) -> failed[0] = b.failures());
         assertEquals(0, failed[0], "the host was never asked");
     }
 
@@ -226,7 +230,7 @@
     @Test
     void noRoomInTheJournalRefusesAtOnce() throws Exception {
         relay = another(new Journal(Files.createDirectory(folder.resolve("small")), 1_000, clock));
-        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.COMPLETE, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         FinalOutcome answer = take("a");
         assertEquals(FinalOutcome.Kind.REFUSED, answer.kind());
         assertTrue(answer.againNs() > 0, "it says when to come back");
@@ -252,7 +256,7 @@
         take("a");
         assertEquals(1, out.size());
         RequestDispatcher next = another();
-        next.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        next.hosts(ListUpdateKind.COMPLETE, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         next.recover(() -> 0, () -> {});
         settle();
         assertEquals(1, out.size(), "not sent again");
@@ -314,7 +318,7 @@
         RequestDispatcher next = another();
         List<String> abandoned = new ArrayList<>();
         next.handover().takeOver(estate, o -> abandoned.add(o.id()));
-        next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        next.hosts(ListUpdateKind.CACHED, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         next.recover(() -> 0, () -> {});
         assertEquals(List.of(2, 2), List.of(next.held(), next.out()));
         assertEquals(2, out.size(), "nothing is sent again");
@@ -357,11 +361,11 @@
     void aBanOutlastsListAndProcess() throws Exception {
         assertEquals(RequestDispatcher.Detaching.UNKNOWN, relay.detach("never", true));
         assertEquals(RequestDispatcher.Detaching.DONE, relay.detach("h", true));
-        relay.hosts(Sender.ListKind.WHOLE, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.COMPLETE, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         assertNull(take("a"));
         assertEquals(0, out.size());
         relay = another();
-        relay.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.CACHED, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         relay.recover(() -> 0, () -> {});
         assertEquals(0, out.size());
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=1"));
@@ -370,7 +374,7 @@
         settle();
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=0"));
         relay = another();
-        relay.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        relay.hosts(ListUpdateKind.CACHED, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         assertTrue(relay.figures(List.of("c")).contains("edge_relay.hosts_down=0"));
     }
 
@@ -426,9 +430,9 @@
 
     // ---------------------------------------------------------------- what was learned, over a crash
 
-    private Sender.Standing standing(RequestDispatcher of) {
-        Sender.Standing[] s = new Sender.Standing[1];
-        of.breakers((destination, b) -> s[0] = b.standing());
+    private BreakerState standing(RequestDispatcher of) {
+        BreakerState[] s = new BreakerState[1];
+        of.breakers((destination, b) -> s[0] = b.state());
         return s[0];
     }
 
@@ -439,7 +443,7 @@
             take("m" + i);
             out.get(out.size() - 1).accept(new End(Progress.NOT_CONNECTED, Status.BROKEN, 0, 0, 0));
         }
-        assertEquals(Sender.Standing.OPEN, standing(relay));
+        assertEquals(BreakerState.OPEN, standing(relay));
         List.copyOf(timers).forEach(Runnable::run); // the keeping is among them
     }
 
@@ -447,14 +451,14 @@
     private RequestDispatcher next() throws Exception {
         RequestDispatcher next = another();
         next.handover().remember();
-        next.hosts(Sender.ListKind.CACHED, List.of(new Sender.Endpoint("h", 1, 0, 0, Sender.Listing.READY, 100)));
+        next.hosts(ListUpdateKind.CACHED, List.of(new ListedEndpoint("h", 1, 0, 0, EndpointStatus.READY, 100)));
         return next;
     }
 
     @Test
     void aBreakerOutlastsTheProcess() throws Exception {
         trips();
-        assertEquals(Sender.Standing.OPEN, standing(next()), "the next process does not begin by knocking");
+        assertEquals(BreakerState.OPEN, standing(next()), "the next process does not begin by knocking");
     }
 
     @Test
@@ -467,7 +471,7 @@
         for (byte[] bytes :
                 List.of(torn, new byte[0], java.util.Arrays.copyOf(kept, 30), new byte[PolicySnapshotStore.MOST + 1])) {
             Files.write(file, bytes);
-            assertEquals(Sender.Standing.CLOSED, standing(next()), bytes.length + " bytes");
+            assertEquals(BreakerState.CLOSED, standing(next()), bytes.length + " bytes");
         }
         JournalStore store = new InMemoryJournalStore();
         new PolicySnapshotStore(store, 7).keep(new byte[] {1, 2, 3});
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -169,7 +169,7 @@
     @Test
     void valuesAreWrittenAndReadAsBefore() throws IOException {
         PolicySnapshotCodec.Writer out = new PolicySnapshotCodec.Writer(clock);
-        out.whole(-7);
+        out.integer(-7);
         out.real(0.1);
         out.time(clock.now() + 5);
         out.time(0);
@@ -180,7 +180,7 @@
         clock.pass(3 * S);
         PolicySnapshotCodec.Reader in = new PolicySnapshotCodec.Reader(Recorded.bytes(VALUES), clock, true);
         assertEquals(3 * S, in.agoNs);
-        assertEquals(-7, in.whole(0));
+        assertEquals(-7, in.integer(0));
         assertEquals(0.1, in.real(0));
         assertEquals(clock.now() - 3 * S + 5, in.time(0));
         assertEquals(0, in.time(1));
--- a/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
@@ -6,7 +6,7 @@
 import elderseam.compat.RecordedBytes;
 import elderseam.fleet.lease.RecoveryProbeTask;
 import elderseam.gossip.HealthReport;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -48,7 +48,7 @@
     @Test
     void statesOfBreakersShareTheirNames() {
         assertArrayEquals(names(TurnTakingTask.Standing.values()), names(HealthReport.State.values()));
-        assertArrayEquals(names(TurnTakingTask.Standing.values()), names(Sender.Standing.values()));
+        assertArrayEquals(names(TurnTakingTask.Standing.values()), names(BreakerState.values()));
         assertArrayEquals(names(TurnTakingTask.Standing.values()), names(RecoveryProbeTask.Standing.values()));
     }
 
--- a/src/test/java/elderseam/policy/AdviceTest.java
+++ b/src/test/java/elderseam/policy/AdviceTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -14,14 +13,14 @@
 class AdviceTest {
     private final PolicyTestHarness harness = PolicyTestHarness.simple(8); // destination 1 is listed
 
-    private Sender.Breaker breaker() {
-        List<Sender.Breaker> seen = new ArrayList<>();
+    private BreakerView breaker() {
+        List<BreakerView> seen = new ArrayList<>();
         harness.policy.breakers(harness.now, (id, b) -> seen.add(b));
         return seen.get(0);
     }
 
     private void fail() {
-        harness.answer(harness.submit(2, -1, 1), Result.ERROR);
+        harness.answer(harness.submit(2, -1, 1), AttemptResult.ERROR);
     }
 
     /** However loud: without an own failure nothing opens, nothing is called, and no timer is set. */
@@ -31,7 +30,7 @@
         harness.policy.advised(harness.now, 1, 1, 1_000);
         harness.policy.advised(harness.now, 77, 1, 1_000);
         harness.policy.turnEnd(harness.now);
-        assertEquals(Sender.Standing.CLOSED, breaker().standing());
+        assertEquals(BreakerState.CLOSED, breaker().state());
         assertEquals(traced, harness.trace.size());
         assertEquals(timers, harness.timersSet);
     }
@@ -42,7 +41,7 @@
     void suspicionLowersTheFailuresThatTrip(double suspicion, int failures) {
         harness.policy.advised(harness.now, 1, suspicion, 1);
         int n = 0;
-        while (breaker().standing() == Sender.Standing.CLOSED && n < 10) {
+        while (breaker().state() == BreakerState.CLOSED && n < 10) {
             fail();
             n++;
         }
@@ -56,22 +55,22 @@
         harness.policy.advised(harness.now, 1, 0, 0);
         fail();
         fail();
-        assertEquals(Sender.Standing.CLOSED, breaker().standing());
+        assertEquals(BreakerState.CLOSED, breaker().state());
         fail();
         fail();
-        assertEquals(Sender.Standing.OPEN, breaker().standing());
+        assertEquals(BreakerState.OPEN, breaker().state());
         harness.policy.advised(harness.now, 1, 0, 0);
-        assertEquals(Sender.Standing.OPEN, breaker().standing());
+        assertEquals(BreakerState.OPEN, breaker().state());
     }
 
     /** Who looks at the breakers changes nothing, however often. */
     @Test
     void viewsChangeNothing() {
         fail();
-        Sender.Breaker first = breaker();
+        BreakerView first = breaker();
         for (int i = 0; i < 100; i++) {
             assertEquals(first, breaker());
         }
-        assertTrue(first.calls() == 1 && first.failed() == 1, first::toString);
+        assertTrue(first.calls() == 1 && first.failures() == 1, first::toString);
     }
 }
--- a/src/test/java/elderseam/policy/BreakerTest.java
+++ b/src/test/java/elderseam/policy/BreakerTest.java
@@ -6,8 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -19,7 +17,7 @@
         for (int i = 0; i < 12; i++) {
             String id = harness.submit(0, -1, 1);
             harness.pass(100 * MS);
-            harness.answer(id, Result.DELIVERED);
+            harness.answer(id, AttemptResult.DELIVERED);
         }
     }
 
@@ -30,7 +28,7 @@
         }
         for (String id : ids) {
             if (harness.sent(id)) {
-                harness.answer(id, Result.ERROR);
+                harness.answer(id, AttemptResult.ERROR);
             }
         }
     }
@@ -46,20 +44,20 @@
 
     @Test
     void everyOutcomeGivesItsTicketBackOnce() {
-        Sender.Settings settings = PolicyTestHarness.settings(8, new Sender.Kind(false, 1), false);
-        for (Result result : Result.values()) {
+        PolicySettings settings = PolicyTestHarness.settings(8, new DestinationKind(false, 1), false);
+        for (AttemptResult result : AttemptResult.values()) {
             PolicyTestHarness r = new PolicyTestHarness(settings, 3);
-            r.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+            r.list(ListUpdateKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
             String id = r.submit(0, -1, 1);
             PolicyTestHarness.Attempt a = r.only(id);
             r.answer(id, result);
             // a repeated outcome is passed over
             r.policy.outcome(
-                    r.now, new Sender.Outcome(id, a.number(), "a:1", result, 0, 0, false, false, Sender.Report.NONE));
+                    r.now, new CompletedAttempt(id, a.number(), "a:1", result, 0, 0, false, false, LimitReport.NONE));
             r.policy.turnEnd(r.now);
             r.pass(3 * S);
             while (!r.out().isEmpty()) {
-                r.answer(r.out().get(0), Result.DELIVERED, 0);
+                r.answer(r.out().get(0), AttemptResult.DELIVERED, 0);
                 r.policy.turnEnd(r.now);
             }
             r.pass(30 * S);
@@ -77,11 +75,11 @@
         for (int i = 0; i < 10; i++) {
             String good = harness.submit(2, -1, 1);
             harness.pass(50 * MS);
-            harness.answer(good, Result.DELIVERED);
+            harness.answer(good, AttemptResult.DELIVERED);
             String bad = harness.submit(2, -1, 1);
             assertTrue(harness.sent(bad), "call " + i + " below the floor");
             harness.pass(50 * MS);
-            harness.answer(bad, Result.ERROR);
+            harness.answer(bad, AttemptResult.ERROR);
         }
         assertFalse(harness.sent(harness.submit(2, -1, 1)), "parks once tripped");
     }
@@ -106,7 +104,7 @@
         }
         harness.pass(3800 * MS);
         assertEquals(1, harness.out().size(), "one live trial");
-        harness.answer(harness.out().get(0), Result.DELIVERED, 0);
+        harness.answer(harness.out().get(0), AttemptResult.DELIVERED, 0);
         harness.policy.turnEnd(harness.now);
         harness.pass(5 * S);
         assertTrue(harness.out().size() >= 1, "closed again");
@@ -123,7 +121,7 @@
         for (int i = 0; i < 500 && harness.out().isEmpty(); i++) {
             harness.pass(5 * MS);
         }
-        harness.answer(id, Result.CONNECT_FAILED);
+        harness.answer(id, AttemptResult.CONNECT_FAILED);
         harness.pass(1400 * MS);
         assertEquals(0, harness.out().size());
         harness.pass(10 * S);
@@ -161,7 +159,7 @@
             String id = harness.submit(0, -1, 1);
             harness.pass(100 * MS);
             if (harness.sent(id)) {
-                harness.answer(id, Result.DELIVERED);
+                harness.answer(id, AttemptResult.DELIVERED);
             }
         }
         assertTrue(harness.trace.stream().anyMatch(l -> l.contains("cancel " + lost)));
@@ -172,7 +170,7 @@
     void aRetryAfterIsKeptExactly() {
         warm();
         String id = harness.submit(0, -1, 1);
-        harness.answer(harness.only(id), Result.FULL, 700 * MS);
+        harness.answer(harness.only(id), AttemptResult.FULL, 700 * MS);
         harness.policy.turnEnd(harness.now);
         harness.pass(695 * MS);
         assertEquals(0, harness.out().size());
@@ -185,7 +183,7 @@
     void aFailingDestinationHoldsAtMostHalfOfTheSlots() {
         PolicyTestHarness r = PolicyTestHarness.simple(16);
         for (int i = 0; i < 2; i++) {
-            r.answer(r.submit(0, -1, 1), Result.ERROR);
+            r.answer(r.submit(0, -1, 1), AttemptResult.ERROR);
         }
         for (int i = 0; i < 20; i++) {
             r.submit(0, -1, 1);
@@ -202,23 +200,24 @@
     void aCallDecidedInTheKeysWindowDoesNotBeginAfterIt() {
         PolicyTestHarness r = PolicyTestHarness.simple(8);
         String id = r.submit(1, -1, 1);
-        r.answer(id, Result.TIMEOUT); // it may have run: 6 s from its start
+        r.answer(id, AttemptResult.TIMEOUT); // it may have run: 6 s from its start
         r.pass(300 * MS);
         assertTrue(r.sent(id) && r.out().size() == 1, "tried again within the window");
-        assertTrue(r.policy.mayCall(r.now, id, "a:1"));
+        assertTrue(r.policy.mayStart(r.now, id, "a:1"));
         r.pass(5_800 * MS);
-        assertFalse(r.policy.mayCall(r.now, id, "a:1"), "the window is over");
-        assertFalse(r.policy.mayCall(r.now, "unknown", "a:1"), "nothing is held under that id");
+        assertFalse(r.policy.mayStart(r.now, id, "a:1"), "the window is over");
+        assertFalse(r.policy.mayStart(r.now, "unknown", "a:1"), "nothing is held under that id");
     }
 
     /** id079ed: where answers get lost, a call that serves more messages goes first. */
     @Test
     void aLargerBatchGoesFirst() {
-        PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(1, new Sender.Kind(false, 5), false), 1);
+        PolicyTestHarness r =
+                new PolicyTestHarness(PolicyTestHarness.settings(1, new DestinationKind(false, 5), false), 1);
         r.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("b:1", 2, 0, EndpointStatus.READY));
         r.take(0, -1, 1);
         for (int i = 0; i < 4; i++) {
             r.take(0, -1, 2);
@@ -240,7 +239,7 @@
         for (int i = 0; i < 500; i++) {
             harness.pass(10 * MS);
             for (PolicyTestHarness.Attempt a : harness.out()) {
-                harness.answer(a, Result.DELIVERED, 0);
+                harness.answer(a, AttemptResult.DELIVERED, 0);
                 delivered++;
             }
             harness.policy.turnEnd(harness.now);
@@ -251,15 +250,16 @@
     /** Cost follows what is going on, not the length of the list: an idle sender sets no timer at all. */
     @Test
     void anIdleSenderWithALongListSetsNoTimers() {
-        PolicyTestHarness r = new PolicyTestHarness(PolicyTestHarness.settings(8, new Sender.Kind(false, 1), false), 1);
-        Sender.Endpoint[] many = new Sender.Endpoint[2000];
+        PolicyTestHarness r =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(false, 1), false), 1);
+        ListedEndpoint[] many = new ListedEndpoint[2000];
         for (int i = 0; i < many.length; i++) {
-            many[i] = PolicyTestHarness.endpoint("a:" + i, i, 0, Listing.READY);
+            many[i] = PolicyTestHarness.endpoint("a:" + i, i, 0, EndpointStatus.READY);
         }
-        r.list(Sender.ListKind.CACHED, many);
+        r.list(ListUpdateKind.CACHED, many);
         String id = r.submit(0, -1, 7);
         r.pass(100 * MS);
-        r.answer(id, Result.DELIVERED);
+        r.answer(id, AttemptResult.DELIVERED);
         r.pass(60 * S);
         assertTrue(r.timersSet <= 3, r.timersSet + " timers for one call");
         assertEquals(0, r.timers.size());
@@ -277,14 +277,14 @@
     }
 
     private static PolicyTestHarness shared(int senders, long seed) {
-        Sender.Settings s = PolicyTestHarness.settings(3, new Sender.Kind(false, 1), false);
+        PolicySettings s = PolicyTestHarness.settings(3, new DestinationKind(false, 1), false);
         PolicyTestHarness r = new PolicyTestHarness(
-                new Sender.Settings(
+                new PolicySettings(
                         s.classes(),
                         s.kinds(),
                         s.tenantRates(),
                         s.slots(),
-                        s.mostHeld(),
+                        s.maxHeld(),
                         s.maxAttempts(),
                         senders,
                         0,
@@ -293,28 +293,28 @@
                         true,
                         false,
                         false,
-                        Sender.Rates.ROUGH,
+                        WeightPrecision.ROUGH,
                         s.maxRetryAfterNs(),
                         s.drainGraceNs(),
-                        s.coldShare(),
-                        s.coldNs(),
-                        s.fallMultiple(),
-                        s.fallNs(),
+                        s.coldRateRatio(),
+                        s.warmUpNs(),
+                        s.overloadMultiple(),
+                        s.overloadNs(),
                         s.keyRestNs(),
                         s.connections(),
                         s.prices()),
                 seed);
         r.list(
-                Sender.ListKind.CACHED,
-                new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 3),
-                new Sender.Endpoint("b:1", 1, 0, 0, Listing.READY, 3));
+                ListUpdateKind.CACHED,
+                new ListedEndpoint("a:1", 1, 0, 0, EndpointStatus.READY, 3),
+                new ListedEndpoint("b:1", 1, 0, 0, EndpointStatus.READY, 3));
         return r;
     }
 
     /** Later days: hundreds of senders knew of an outage and came back at once; their sum must stay small. */
     @Test
     void manySendersStayUnderWhatAReturningDestinationWithstands() {
-        for (Result fault : List.of(Result.FULL, Result.CONNECT_FAILED)) {
+        for (AttemptResult fault : List.of(AttemptResult.FULL, AttemptResult.CONNECT_FAILED)) {
             int early = 0;
             int late = 0;
             for (int i = 0; i < 60; i++) {
@@ -339,24 +339,24 @@
     @Test
     void anEndpointIsEjectedOnlyForTheClassThatFails() {
         PolicyTestHarness r =
-                new PolicyTestHarness(PolicyTestHarness.settings(12, new Sender.Kind(false, 1), false), 5);
+                new PolicyTestHarness(PolicyTestHarness.settings(12, new DestinationKind(false, 1), false), 5);
         r.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("b:1", 1, 1, Listing.READY)); // farther: taken only instead
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 1, EndpointStatus.READY)); // farther: taken only instead
         int failed = 0;
         int others = 0;
         for (int i = 0; i < 300; i++) {
             r.submit(i % 2 == 0 ? 2 : 0, -1, 1);
             r.pass(100 * MS);
             for (PolicyTestHarness.Attempt a : r.out()) {
-                boolean payment = r.messages.get(a.id()).msg.cls() == 2;
+                boolean payment = r.messages.get(a.id()).msg.requestClass() == 2;
                 if (a.endpoint().equals("a:1") && payment) {
                     failed += i >= 100 ? 1 : 0;
-                    r.answer(a, Result.ERROR, 0);
+                    r.answer(a, AttemptResult.ERROR, 0);
                 } else {
                     others += a.endpoint().equals("a:1") ? 1 : 0;
-                    r.answer(a, Result.DELIVERED, 0);
+                    r.answer(a, AttemptResult.DELIVERED, 0);
                 }
             }
             r.policy.turnEnd(r.now);
@@ -376,7 +376,7 @@
                 r.submit(0, -1, 1);
             }
             for (PolicyTestHarness.Attempt a : r.out()) {
-                r.answer(a, sent++ % 3 == 2 ? Result.DELIVERED : Result.ERROR, 0);
+                r.answer(a, sent++ % 3 == 2 ? AttemptResult.DELIVERED : AttemptResult.ERROR, 0);
             }
             r.policy.turnEnd(r.now);
             r.pass(50 * MS);
@@ -390,8 +390,8 @@
         PolicyTestHarness down = shared(200, 3);
         PolicyTestHarness full = shared(200, 3);
         down.pass(S);
-        down.answer(down.submit(0, -1, 1), Result.CONNECT_FAILED);
-        full.answer(full.submit(0, -1, 1), Result.FULL);
+        down.answer(down.submit(0, -1, 1), AttemptResult.CONNECT_FAILED);
+        full.answer(full.submit(0, -1, 1), AttemptResult.FULL);
         down.pass(2500 * MS);
         full.pass(2500 * MS);
         assertEquals(0, down.out().size(), "hundreds may wait for its return");
@@ -405,9 +405,9 @@
             PolicyTestHarness r = shared(200, seed);
             r.pass(S);
             String id = r.submit(0, -1, 1);
-            r.answer(id, Result.FULL);
+            r.answer(id, AttemptResult.FULL);
             r.pass(2 * S);
-            r.answer(id, Result.FULL);
+            r.answer(id, AttemptResult.FULL);
             r.pass(14 * S);
             assertEquals(2, r.messages.get(id).attempts, "seed " + seed);
         }
@@ -421,7 +421,7 @@
             PolicyTestHarness r = shared(200, seed);
             r.pass(S);
             String id = r.submit(0, -1, 1);
-            r.answer(r.only(id), Result.FULL, 5000 * MS);
+            r.answer(r.only(id), AttemptResult.FULL, 5000 * MS);
             r.policy.turnEnd(r.now);
             r.pass(5500 * MS);
             atOnce += r.sent(id) ? 1 : 0;
--- a/src/test/java/elderseam/policy/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -4,7 +4,6 @@
 
 import elderseam.compat.CoreProcess;
 import elderseam.compat.Recorded;
-import elderseam.policy.Sender.Listing;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -21,10 +20,10 @@
             FIELDS = "learned/fields.txt",
             FRESH = "learned/fresh.txt";
     private static final long NOW = 9_000_000_000_000L;
-    private static final Sender.Settings SETTINGS = CoreProcess.SETTINGS.settings();
+    private static final PolicySettings SETTINGS = CoreProcess.SETTINGS.settings();
 
     /** Notes each value with its sort. One that reads takes its values from {@code read}, and else makes them up where {@code made}. */
-    private static final class Notes implements Sender.Ledger {
+    private static final class Notes implements SnapshotCursor {
         final List<String> lines = new ArrayList<>();
         private final Iterator<String> read;
         private final Made made;
@@ -45,7 +44,7 @@
         }
 
         @Override
-        public long whole(long value) {
+        public long integer(long value) {
             return Long.parseLong(pass("whole", "" + value));
         }
 
@@ -114,9 +113,9 @@
 
     private static List<String> carry(Notes notes) {
         DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
-        brain.carry(NOW, notes);
+        brain.transfer(NOW, notes);
         Notes written = new Notes(null, null);
-        brain.carry(NOW, written);
+        brain.transfer(NOW, written);
         return written.lines;
     }
 
@@ -135,9 +134,10 @@
     @Test
     void aFreshSenderWritesAsBefore() throws IOException {
         DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
-        brain.endpoints(NOW, Sender.ListKind.WHOLE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, Listing.READY)));
+        brain.endpoints(
+                NOW, ListUpdateKind.COMPLETE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, EndpointStatus.READY)));
         Notes written = new Notes(null, null);
-        brain.carry(NOW, written);
+        brain.transfer(NOW, written);
         Recorded.assertLines(FRESH, written.lines);
     }
 
--- a/src/test/java/elderseam/policy/ChurnTest.java
+++ b/src/test/java/elderseam/policy/ChurnTest.java
@@ -5,9 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.ListKind;
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 /** Endpoints and destinations that come and go for ever. */
@@ -18,10 +15,11 @@
     @Test
     void nothingGrowsWithIdsThatAreGone() {
         for (int i = 0; i < 100; i++) {
-            harness.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.READY));
-            harness.answer(harness.submit(2, i, 100 + i), Result.DELIVERED);
-            harness.answer(harness.submit(2, 1_000 + i, 100 + i), Result.RESET); // its ordering key rests for a while
-            harness.list(ListKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, Listing.GONE));
+            harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, EndpointStatus.READY));
+            harness.answer(harness.submit(2, i, 100 + i), AttemptResult.DELIVERED);
+            harness.answer(
+                    harness.submit(2, 1_000 + i, 100 + i), AttemptResult.RESET); // its ordering key rests for a while
+            harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, EndpointStatus.GONE));
             harness.pass(S);
         }
         assertEquals(1, harness.policy.directory.endpoints.size());
@@ -38,10 +36,10 @@
     @Test
     void aSuccessorStartsAnew() {
         String id = harness.submit(0, -1, 1);
-        harness.list(ListKind.WHOLE, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.COMPLETE, PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
         assertEquals(2, harness.policy.directory.endpoints.size());
-        harness.answer(id, Result.DELIVERED);
-        harness.list(ListKind.CHANGES);
+        harness.answer(id, AttemptResult.DELIVERED);
+        harness.list(ListUpdateKind.CHANGES);
         assertEquals(1, harness.policy.directory.endpoints.size());
         assertEquals("b:1", harness.only(harness.submit(0, -1, 1)).endpoint());
     }
@@ -51,7 +49,7 @@
     void aDestinationIsKnownForAWhile() {
         assertTrue(harness.policy.serves(harness.now, 1));
         assertFalse(harness.policy.serves(harness.now, 2));
-        harness.list(ListKind.WHOLE);
+        harness.list(ListUpdateKind.COMPLETE);
         harness.pass(20 * S);
         assertTrue(harness.policy.serves(harness.now, 1));
         harness.pass(20 * S);
--- a/src/test/java/elderseam/policy/CircuitBreakerTest.java
+++ b/src/test/java/elderseam/policy/CircuitBreakerTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 /** The circuit breaker alone. */
@@ -20,7 +19,7 @@
             parts.group.window.roll(now);
             parts.group.window.count(true);
             breaker.onFailure(false, now);
-            breaker.judge(parts.call(now), Result.ERROR, now);
+            breaker.judge(parts.call(now), AttemptResult.ERROR, now);
         }
     }
 
@@ -84,14 +83,14 @@
     void aFailedTrialOpensAgain() {
         AttemptRecord trial = halfOpenWithTrial();
         breaker.onFailure(false, now);
-        breaker.judge(trial, Result.TIMEOUT, now);
+        breaker.judge(trial, AttemptResult.TIMEOUT, now);
         assertTrue(breaker.isSleeping(now));
     }
 
     @Test
     void anotherCallThanTheTrialDecidesNothing() {
         halfOpenWithTrial();
-        breaker.judge(parts.call(now), Result.ERROR, now);
+        breaker.judge(parts.call(now), AttemptResult.ERROR, now);
         breaker.onSuccess(parts.call(now), now);
         assertTrue(breaker.isHalfOpen());
     }
--- a/src/test/java/elderseam/policy/ConnectionsTest.java
+++ b/src/test/java/elderseam/policy/ConnectionsTest.java
@@ -5,27 +5,25 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** What is done with connections that stay idle. */
 class ConnectionsTest {
-    private final PolicyTestHarness harness = new PolicyTestHarness(many(false, Sender.Rates.UNTOLD), 7);
+    private final PolicyTestHarness harness = new PolicyTestHarness(many(false, WeightPrecision.UNKNOWN), 7);
 
     ConnectionsTest() {
-        harness.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
     }
 
-    private static Sender.Settings many(boolean apart, Sender.Rates rates) {
-        Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(apart, 1), false);
-        return new Sender.Settings(
+    private static PolicySettings many(boolean apart, WeightPrecision rates) {
+        PolicySettings s = PolicyTestHarness.settings(8, new DestinationKind(apart, 1), false);
+        return new PolicySettings(
                 s.classes(),
                 s.kinds(),
                 s.tenantRates(),
                 s.slots(),
-                s.mostHeld(),
+                s.maxHeld(),
                 s.maxAttempts(),
                 200,
                 0,
@@ -37,10 +35,10 @@
                 rates,
                 s.maxRetryAfterNs(),
                 s.drainGraceNs(),
-                s.coldShare(),
-                s.coldNs(),
-                s.fallMultiple(),
-                s.fallNs(),
+                s.coldRateRatio(),
+                s.warmUpNs(),
+                s.overloadMultiple(),
+                s.overloadNs(),
                 s.keyRestNs(),
                 s.connections(),
                 s.prices());
@@ -55,17 +53,17 @@
     private void deliver(long dest) {
         String id = harness.submit(0, -1, dest);
         harness.pass(50 * MS);
-        harness.answer(id, Result.DELIVERED);
+        harness.answer(id, AttemptResult.DELIVERED);
         harness.pass(50 * MS);
     }
 
     /** 20 to 53% of attempts at endpoints of few connections found them taken by idle ones. */
     @Test
     void idleConnectionsAreClosedOnceOneFailedToOpen() {
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Listing.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, EndpointStatus.READY));
         deliver(1);
         assertEquals(0, disconnects("a:1"), "kept while all connect");
-        harness.answer(harness.submit(0, -1, 2), Result.CONNECT_FAILED);
+        harness.answer(harness.submit(0, -1, 2), AttemptResult.CONNECT_FAILED);
         assertEquals(1, disconnects("a:1"), "the one held gives its room to others");
         harness.pass(2 * S);
         deliver(1);
@@ -74,12 +72,12 @@
 
     @Test
     void aConnectionThatTheNextMessageUsesStaysOpen() {
-        harness.answer(harness.submit(0, -1, 1), Result.CONNECT_FAILED);
+        harness.answer(harness.submit(0, -1, 1), AttemptResult.CONNECT_FAILED);
         harness.pass(S);
         long before = disconnects("a:1");
         List<PolicyTestHarness.Attempt> out = harness.out();
         harness.take(1, -1, 1);
-        out.forEach(a -> harness.answer(a, Result.DELIVERED, 0));
+        out.forEach(a -> harness.answer(a, AttemptResult.DELIVERED, 0));
         harness.policy.turnEnd(harness.now);
         assertTrue(!harness.out().isEmpty(), "the next goes in the same turn");
         int last = harness.trace.size() - 1;
@@ -97,7 +95,7 @@
         assertEquals(0, disconnects("a:1"), "an idle connection is used while none has done harm");
         harness.pass(3 * S);
         assertTrue(harness.messages.get(lost).attempts > 1, "cut once overdue and sent again, with no other evidence");
-        harness.answer(lost, Result.DELIVERED);
+        harness.answer(lost, AttemptResult.DELIVERED);
         harness.pass(2 * S);
         long before = disconnects("a:1");
         harness.submit(2, -1, 1);
@@ -110,14 +108,14 @@
         PolicyTestHarness few = PolicyTestHarness.simple(8);
         String first = few.submit(0, -1, 1);
         few.pass(50 * MS);
-        few.answer(first, Result.DELIVERED);
+        few.answer(first, AttemptResult.DELIVERED);
         for (int i = 0; i < 2; i++) {
             few.pass(3 * S);
             String broken = few.submit(0, -1, 1);
             few.pass(200 * MS);
-            few.answer(broken, Result.RESET);
+            few.answer(broken, AttemptResult.RESET);
             few.pass(S);
-            few.answer(broken, Result.DELIVERED);
+            few.answer(broken, AttemptResult.DELIVERED);
         }
         assertTrue(few.trace.stream().noneMatch(l -> l.contains("disconnect")), few.trace.toString());
     }
@@ -127,11 +125,11 @@
     void sendersSpreadOverRoutesByTheirRates() {
         int[] sent = new int[2];
         for (int seed = 0; seed < 60; seed++) {
-            PolicyTestHarness r = new PolicyTestHarness(many(true, Sender.Rates.EXACT), seed);
+            PolicyTestHarness r = new PolicyTestHarness(many(true, WeightPrecision.EXACT), seed);
             r.list(
-                    Sender.ListKind.CACHED,
-                    new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 2),
-                    new Sender.Endpoint("b:1", 1, 0, 0, Listing.READY, 6));
+                    ListUpdateKind.CACHED,
+                    new ListedEndpoint("a:1", 1, 0, 0, EndpointStatus.READY, 2),
+                    new ListedEndpoint("b:1", 1, 0, 0, EndpointStatus.READY, 6));
             sent[r.only(r.submit(0, -1, 1)).endpoint().equals("a:1") ? 0 : 1]++;
         }
         assertTrue(sent[0] >= 5 && sent[1] >= 35, sent[0] + " to the small route, " + sent[1] + " to the large");
@@ -139,14 +137,14 @@
 
     @Test
     void anExpensiveRouteIsUsedOnlyWhileTheCheapOneIsEjected() {
-        Sender.Settings s = PolicyTestHarness.settings(8, new Sender.Kind(true, 1), false);
+        PolicySettings s = PolicyTestHarness.settings(8, new DestinationKind(true, 1), false);
         PolicyTestHarness r = new PolicyTestHarness(
-                new Sender.Settings(
+                new PolicySettings(
                         s.classes(),
                         s.kinds(),
                         s.tenantRates(),
                         s.slots(),
-                        s.mostHeld(),
+                        s.maxHeld(),
                         s.maxAttempts(),
                         2,
                         0,
@@ -155,24 +153,24 @@
                         true,
                         false,
                         false,
-                        Sender.Rates.UNTOLD,
+                        WeightPrecision.UNKNOWN,
                         s.maxRetryAfterNs(),
                         s.drainGraceNs(),
-                        s.coldShare(),
-                        s.coldNs(),
-                        s.fallMultiple(),
-                        s.fallNs(),
+                        s.coldRateRatio(),
+                        s.warmUpNs(),
+                        s.overloadMultiple(),
+                        s.overloadNs(),
                         s.keyRestNs(),
                         s.connections(),
-                        new Sender.Prices(0, 0, List.of(1.0))),
+                        new PriceSettings(0, 0, List.of(1.0))),
                 5);
         r.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("dear:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("cheap:1", 1, 1, Listing.READY));
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("dear:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("cheap:1", 1, 1, EndpointStatus.READY));
         String first = r.submit(0, -1, 1);
         assertEquals("cheap:1", r.only(first).endpoint());
-        r.answer(first, Result.ERROR);
+        r.answer(first, AttemptResult.ERROR);
         r.pass(S / 2);
         assertEquals("dear:1", r.only(first).endpoint(), "a failing cheap route loses to a dear one");
     }
--- a/src/test/java/elderseam/policy/EmbeddingTest.java
+++ b/src/test/java/elderseam/policy/EmbeddingTest.java
@@ -13,7 +13,7 @@
 /** The steps that README shows, run as they stand there. */
 class EmbeddingTest {
     private final List<String> done = new ArrayList<>();
-    private final Sender.Actions host = new Sender.Actions() {
+    private final PolicyActions host = new PolicyActions() {
         @Override
         public void send(String id, String endpoint, long stopAt) {
             done.add("send " + id + " " + endpoint + " " + stopAt);
@@ -25,7 +25,7 @@
         }
 
         @Override
-        public void refuse(String id, long retryAfterNs) {
+        public void reject(String id, long retryAfterNs) {
             done.add("refuse " + id);
         }
 
@@ -59,9 +59,9 @@
     void theStepsOfTheReadmeDeliverAMessage() {
         long now = 5;
         long later = 200_000_005L;
-        var settings = new Sender.Settings(
-                List.of(new Sender.MessageClass(
-                        Sender.Effect.SAFE,
+        var settings = new PolicySettings(
+                List.of(new RequestClass(
+                        Idempotency.SAFE,
                         false,
                         false,
                         1_000_000_000L,
@@ -69,7 +69,7 @@
                         1,
                         0.2,
                         0)), // aim 1 s, deadline 10 s, worth 1
-                List.of(new Sender.Kind(false, 1)), // endpoints share a limit, no batches
+                List.of(new DestinationKind(false, 1)), // endpoints share a limit, no batches
                 List.of(),
                 16,
                 500,
@@ -81,7 +81,7 @@
                 true,
                 false,
                 false,
-                Sender.Rates.EXACT,
+                WeightPrecision.EXACT,
                 5_000_000_000L,
                 250_000_000L,
                 0.25,
@@ -89,29 +89,29 @@
                 2,
                 2_000_000_000L,
                 0,
-                new Sender.Connections(10_000_000_000L, 1, 1_500_000_000L),
-                new Sender.Prices(0.05, 0, List.of()));
-        var brain = new DispatchPolicy(settings, 42, host); // host implements Sender.Actions
-        brain.endpoints(
+                new ConnectionSettings(10_000_000_000L, 1, 1_500_000_000L),
+                new PriceSettings(0.05, 0, List.of()));
+        var policy = new DispatchPolicy(settings, 42, host); // host implements PolicyActions
+        policy.endpoints(
                 now,
-                Sender.ListKind.WHOLE,
-                List.of(new Sender.Endpoint("192.0.2.1:443", 7, 0, 0, Sender.Listing.READY, 1)));
-        brain.message(now, new Sender.Message("m1", 0, 0, -1, now + 10_000_000_000L, 7, false));
-        brain.turnEnd(now); // host.send("m1", "192.0.2.1:443", ...)
+                ListUpdateKind.COMPLETE,
+                List.of(new ListedEndpoint("192.0.2.1:443", 7, 0, 0, EndpointStatus.READY, 1)));
+        policy.request(now, new PolicyRequest("m1", 0, 0, -1, now + 10_000_000_000L, 7, false));
+        policy.turnEnd(now); // host.send("m1", "192.0.2.1:443", ...)
         assertEquals(List.of("send m1 192.0.2.1:443 10000000005"), done);
-        brain.outcome(
+        policy.outcome(
                 later,
-                new Sender.Outcome(
+                new CompletedAttempt(
                         "m1",
                         0,
                         "192.0.2.1:443",
-                        Sender.Result.DELIVERED,
+                        AttemptResult.DELIVERED,
                         later - now,
                         0,
                         false,
                         true,
-                        Sender.Report.NONE));
-        brain.turnEnd(later);
+                        LimitReport.NONE));
+        policy.turnEnd(later);
         assertEquals(1, done.size(), "nothing more for a delivered message");
     }
 
--- a/src/test/java/elderseam/policy/LimitTest.java
+++ b/src/test/java/elderseam/policy/LimitTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -15,7 +14,7 @@
     private final PolicyTestHarness harness = PolicyTestHarness.simple(40);
 
     /** Keeps messages waiting and answers after 50 ms, for that long; how many went out. */
-    private int serve(long ns, Result result) {
+    private int serve(long ns, AttemptResult result) {
         int sent = 0;
         for (long end = harness.now + ns; harness.now < end; ) {
             while (harness.messages.values().stream()
@@ -36,7 +35,7 @@
     @Test
     void aReturnIsFoundWithinTwoAndAHalfSeconds() {
         for (int i = 0; i < 4; i++) {
-            harness.answer(harness.submit(2, i, 1), Result.RESET); // in a row: the breaker opens
+            harness.answer(harness.submit(2, i, 1), AttemptResult.RESET); // in a row: the breaker opens
         }
         harness.submit(0, -1, 1);
         assertTrue(harness.out().isEmpty(), "parked");
@@ -47,14 +46,14 @@
     /** A limit fell to a tenth for 7 s and rose again: the pace crept up by 15% a second, and 27% were refused. */
     @Test
     void aLimitThatRoseAgainIsUsedSoon() {
-        harness.report = new Sender.Report(0.9, 100);
-        serve(2 * S, Result.DELIVERED);
-        harness.report = new Sender.Report(0.02, 10);
-        serve(200 * MS, Result.FULL);
-        int low = serve(5 * S, Result.DELIVERED);
-        harness.report = new Sender.Report(0.9, 100);
-        serve(4 * S, Result.DELIVERED);
-        int high = serve(S, Result.DELIVERED);
+        harness.report = new LimitReport(0.9, 100);
+        serve(2 * S, AttemptResult.DELIVERED);
+        harness.report = new LimitReport(0.02, 10);
+        serve(200 * MS, AttemptResult.FULL);
+        int low = serve(5 * S, AttemptResult.DELIVERED);
+        harness.report = new LimitReport(0.9, 100);
+        serve(4 * S, AttemptResult.DELIVERED);
+        int high = serve(S, AttemptResult.DELIVERED);
         assertTrue(low < 5 * 12, low + " in 5 s, of 10 a second for two senders");
         assertTrue(high > 35, high + " in 1 s, of 100 a second for two senders");
     }
--- a/src/test/java/elderseam/policy/PolicyParts.java
+++ b/src/test/java/elderseam/policy/PolicyParts.java
@@ -1,15 +1,10 @@
 package elderseam.policy;
 
-import elderseam.policy.Sender.Kind;
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Message;
-import elderseam.policy.Sender.Settings;
-
 /** The parts of a policy with one listed endpoint, for tests of a part alone; the clock stands at 100 s. */
 final class PolicyParts {
     static final long NOW = 100 * PolicyTestHarness.S;
 
-    final Settings settings = PolicyTestHarness.settings(8, new Kind(false, 1), true);
+    final PolicySettings settings = PolicyTestHarness.settings(8, new DestinationKind(false, 1), true);
     final PolicyContext context = new PolicyContext(settings, 7, PolicyTestHarness.simple(8));
     final EndpointDirectory directory = new EndpointDirectory(context);
     final EndpointState endpoint;
@@ -18,7 +13,7 @@
 
     PolicyParts() {
         context.now = NOW;
-        endpoint = directory.add(PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        endpoint = directory.add(PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
         endpoint.ready = true;
         group = endpoint.group;
     }
@@ -33,7 +28,7 @@
     /** A request of a class (0 safe, 1 keyed with a key for each zone, 2 unsafe) that has just arrived. */
     PendingRequest request(int requestClass) {
         var type = settings.classes().get(requestClass);
-        var message = new Message("r" + requests, requestClass, 0, -1, context.now + type.deadlineNs(), 1, false);
+        var message = new PolicyRequest("r" + requests, requestClass, 0, -1, context.now + type.deadlineNs(), 1, false);
         return new PendingRequest(message, type, endpoint.destination, null, 1, requests++);
     }
 }
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -5,10 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Effect;
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.MessageClass;
-import elderseam.policy.Sender.Result;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,7 +13,7 @@
 import java.util.TreeMap;
 
 /** A host under test's control: carries out what the module asks and asserts the six rules at every action. */
-final class PolicyTestHarness implements Sender.Actions {
+final class PolicyTestHarness implements PolicyActions {
     static final long MS = 1_000_000;
     static final long S = 1_000 * MS;
 
@@ -26,8 +22,8 @@
 
     /** What the host knows of a message. */
     static final class Sent {
-        final Sender.Message msg;
-        final MessageClass cls;
+        final PolicyRequest msg;
+        final RequestClass cls;
         final List<Attempt> out = new ArrayList<>();
         int attempts;
         boolean maybeRan;
@@ -36,19 +32,19 @@
         String end;
         long endedAt;
 
-        Sent(Sender.Message msg, MessageClass cls) {
+        Sent(PolicyRequest msg, RequestClass cls) {
             this.msg = msg;
             this.cls = cls;
         }
     }
 
-    final Sender.Settings settings;
+    final PolicySettings settings;
     final DispatchPolicy policy;
     final Map<String, Sent> messages = new LinkedHashMap<>();
     /** Messages unfinished, or with attempts out. */
     final Map<String, Sent> active = new LinkedHashMap<>();
 
-    final Map<String, Sender.Endpoint> listed = new HashMap<>();
+    final Map<String, ListedEndpoint> listed = new HashMap<>();
     final Map<String, Long> leftAt = new HashMap<>();
     final Map<String, Long> waits = new HashMap<>();
     final Map<Long, List<Sent>> orderedRequests = new HashMap<>();
@@ -59,22 +55,22 @@
     long now = 1_000 * S;
     int subscribes;
     int timersSet;
-    Sender.Report report = Sender.Report.NONE; // what the next answers tell
+    LimitReport report = LimitReport.NONE; // what the next answers tell
     double patience = 1; // share of the class's time that the next messages have left
     private int ids;
 
-    PolicyTestHarness(Sender.Settings settings, long seed) {
+    PolicyTestHarness(PolicySettings settings, long seed) {
         this.settings = settings;
         this.policy = new DispatchPolicy(settings, seed, this);
     }
 
     /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
-    static Sender.Settings settings(int slots, Sender.Kind kind, boolean perZone) {
-        return new Sender.Settings(
+    static PolicySettings settings(int slots, DestinationKind kind, boolean perZone) {
+        return new PolicySettings(
                 List.of(
-                        new MessageClass(Effect.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
-                        new MessageClass(Effect.KEYED, perZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
-                        new MessageClass(Effect.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
+                        new RequestClass(Idempotency.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
+                        new RequestClass(Idempotency.KEYED, perZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
+                        new RequestClass(Idempotency.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
                 List.of(kind),
                 List.of(),
                 slots,
@@ -87,7 +83,7 @@
                 true,
                 false,
                 false,
-                Sender.Rates.UNTOLD,
+                WeightPrecision.UNKNOWN,
                 2 * S,
                 250 * MS,
                 0.25,
@@ -95,27 +91,27 @@
                 2,
                 2 * S,
                 100 * MS,
-                new Sender.Connections(10 * S, 1, 1500 * MS),
-                new Sender.Prices(0.05, 0, List.of()));
+                new ConnectionSettings(10 * S, 1, 1500 * MS),
+                new PriceSettings(0.05, 0, List.of()));
     }
 
     static PolicyTestHarness simple(int slots) {
-        PolicyTestHarness harness = new PolicyTestHarness(settings(slots, new Sender.Kind(false, 1), false), 7);
-        harness.list(Sender.ListKind.CACHED, endpoint("a:1", 1, 0, Listing.READY));
+        PolicyTestHarness harness = new PolicyTestHarness(settings(slots, new DestinationKind(false, 1), false), 7);
+        harness.list(ListUpdateKind.CACHED, endpoint("a:1", 1, 0, EndpointStatus.READY));
         return harness;
     }
 
-    static Sender.Endpoint endpoint(String address, long dest, int zone, Listing listing) {
-        return new Sender.Endpoint(address, dest, 0, zone, listing, 1);
+    static ListedEndpoint endpoint(String address, long dest, int zone, EndpointStatus listing) {
+        return new ListedEndpoint(address, dest, 0, zone, listing, 1);
     }
 
-    void list(Sender.ListKind kind, Sender.Endpoint... entries) {
-        if (kind == Sender.ListKind.WHOLE || kind == Sender.ListKind.CACHED) {
+    void list(ListUpdateKind kind, ListedEndpoint... entries) {
+        if (kind == ListUpdateKind.COMPLETE || kind == ListUpdateKind.CACHED) {
             listed.keySet().forEach(a -> leftAt.putIfAbsent(a, now));
         }
-        for (Sender.Endpoint e : entries) {
+        for (ListedEndpoint e : entries) {
             listed.put(e.address(), e);
-            if (e.listing() == Listing.READY) {
+            if (e.status() == EndpointStatus.READY) {
                 leftAt.remove(e.address());
             } else {
                 leftAt.putIfAbsent(e.address(), now);
@@ -134,16 +130,16 @@
     /** Hands a message in without closing the turn. */
     String take(int cls, long key, long dest) {
         String id = String.format("%016x", ++ids);
-        MessageClass c = settings.classes().get(cls);
-        Sender.Message m =
-                new Sender.Message(id, cls, 0, key, now + (long) (c.deadlineNs() * patience), dest, patience < 1);
+        RequestClass c = settings.classes().get(cls);
+        PolicyRequest m =
+                new PolicyRequest(id, cls, 0, key, now + (long) (c.deadlineNs() * patience), dest, patience < 1);
         Sent sent = new Sent(m, c);
         messages.put(id, sent);
         active.put(id, sent);
         if (c.ordered() && key >= 0) {
             orderedRequests.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
         }
-        policy.message(now, m);
+        policy.request(now, m);
         return id;
     }
 
@@ -166,25 +162,25 @@
         return messages.get(id).end;
     }
 
-    void answer(String id, Result result) {
+    void answer(String id, AttemptResult result) {
         answer(only(id), result, 0);
         policy.turnEnd(now);
     }
 
-    void answer(Attempt a, Result result, long waitNs) {
+    void answer(Attempt a, AttemptResult result, long waitNs) {
         Sent s = messages.get(a.id());
         s.out.remove(a);
-        if (!result.neverRan && result != Result.DELIVERED) {
+        if (!result.neverRan && result != AttemptResult.DELIVERED) {
             if (!s.maybeRan) {
                 s.maybeRan = true;
                 s.firstMaybe = a.start();
                 s.zone = listed.get(a.endpoint()).zone();
             }
-            if (s.cls.ordered() && result != Result.ERROR) {
+            if (s.cls.ordered() && result != AttemptResult.ERROR) {
                 rests.merge(s.msg.orderKey(), now + settings.keyRestNs(), Math::max);
             }
         }
-        if (result == Result.DELIVERED && s.end == null) {
+        if (result == AttemptResult.DELIVERED && s.end == null) {
             end(s, "delivered");
         }
         if (waitNs > 0) {
@@ -192,7 +188,7 @@
         }
         policy.outcome(
                 now,
-                new Sender.Outcome(
+                new CompletedAttempt(
                         a.id(),
                         a.number(),
                         a.endpoint(),
@@ -205,7 +201,7 @@
     }
 
     private String route(String endpoint) {
-        Sender.Endpoint e = listed.get(endpoint);
+        ListedEndpoint e = listed.get(endpoint);
         return settings.kinds().get(e.kind()).routesApart() ? endpoint : "d" + e.destination();
     }
 
@@ -224,7 +220,7 @@
             for (String[] c : List.copyOf(cancels)) {
                 for (Attempt a : List.copyOf(messages.get(c[0]).out)) {
                     if (a.number() == Integer.parseInt(c[1])) {
-                        answer(a, Result.CANCELLED, 0);
+                        answer(a, AttemptResult.CANCELLED, 0);
                         turn = true;
                     }
                 }
@@ -232,7 +228,7 @@
             cancels.clear();
             for (Attempt a : out()) {
                 if (now >= a.stopAt()) {
-                    answer(a, Result.TIMEOUT, 0);
+                    answer(a, AttemptResult.TIMEOUT, 0);
                     turn = true;
                 }
             }
@@ -258,15 +254,15 @@
         Sent s = messages.get(id);
         assertNotNull(s, "unknown message");
         assertEquals(null, s.end, "sent after its end");
-        Sender.Endpoint e = listed.get(endpoint);
+        ListedEndpoint e = listed.get(endpoint);
         assertNotNull(e, "unlisted endpoint");
         assertEquals(s.msg.destination(), e.destination(), "endpoint of another destination");
         assertTrue(s.attempts < settings.maxAttempts(), "too many attempts");
         assertTrue(now <= leftAt.getOrDefault(endpoint, Long.MAX_VALUE / 2) + settings.drainGraceNs(), "drained");
         assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "Retry-After not heeded");
-        assertTrue(settings.secondCopies() || s.out.isEmpty(), "second copy");
-        if (s.maybeRan && s.cls.effect() != Effect.SAFE) {
-            assertEquals(Effect.KEYED, s.cls.effect(), "unsafe message sent again");
+        assertTrue(settings.mayHedge() || s.out.isEmpty(), "second copy");
+        if (s.maybeRan && s.cls.idempotency() != Idempotency.SAFE) {
+            assertEquals(Idempotency.KEYED, s.cls.idempotency(), "unsafe message sent again");
             assertTrue(now < s.firstMaybe + s.cls.keyWindowNs(), "key forgotten");
             assertTrue(!s.cls.keyPerZone() || e.zone() == s.zone, "other zone");
         }
@@ -294,13 +290,15 @@
     }
 
     @Override
-    public void refuse(String id, long retryAfterNs) {
+    public void reject(String id, long retryAfterNs) {
         trace.add(now + " refuse " + id + " " + retryAfterNs);
         Sent s = messages.get(id);
         assertTrue(retryAfterNs >= 0 && retryAfterNs <= settings.maxRetryAfterNs(), "retry-after out of range");
         assertTrue(s.out.isEmpty(), "refused with an attempt out");
         assertFalse(
-                s.maybeRan && (s.cls.effect() == Effect.UNSAFE || s.cls.effect() == Effect.KEYED && s.cls.keyPerZone()),
+                s.maybeRan
+                        && (s.cls.idempotency() == Idempotency.UNSAFE
+                                || s.cls.idempotency() == Idempotency.KEYED && s.cls.keyPerZone()),
                 "refused though it may have run");
         end(s, "refused");
     }
--- a/src/test/java/elderseam/policy/PropertyTest.java
+++ b/src/test/java/elderseam/policy/PropertyTest.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -18,15 +16,15 @@
     private List<String> run(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         boolean apart = random.nextInt(3) == 0;
-        Sender.Kind kind = new Sender.Kind(apart, random.nextInt(3) == 0 ? 4 : 1);
+        DestinationKind kind = new DestinationKind(apart, random.nextInt(3) == 0 ? 4 : 1);
         PolicyTestHarness harness = new PolicyTestHarness(
                 PolicyTestHarness.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
         int dests = 1 + random.nextInt(4);
         for (int d = 0; d < dests; d++) {
             harness.list(
-                    Sender.ListKind.CHANGES,
-                    PolicyTestHarness.endpoint("a:" + d, d, 0, Listing.READY),
-                    PolicyTestHarness.endpoint("b:" + d, d, 1, Listing.READY));
+                    ListUpdateKind.CHANGES,
+                    PolicyTestHarness.endpoint("a:" + d, d, 0, EndpointStatus.READY),
+                    PolicyTestHarness.endpoint("b:" + d, d, 1, EndpointStatus.READY));
         }
         for (int step = 0; step < 600; step++) {
             int failing = step / 100 % (dests + 2);
@@ -36,33 +34,32 @@
             }
             if (random.nextInt(150) == 0) { // replaced in bulk, or an old list after a gap
                 String suffix = random.nextBoolean() ? "" : ":" + step;
-                Sender.Endpoint[] all = new Sender.Endpoint[dests];
+                ListedEndpoint[] all = new ListedEndpoint[dests];
                 for (int d = 0; d < dests; d++) {
-                    all[d] = PolicyTestHarness.endpoint("a:" + d + suffix, d, 0, Listing.READY);
+                    all[d] = PolicyTestHarness.endpoint("a:" + d + suffix, d, 0, EndpointStatus.READY);
                 }
-                harness.list(random.nextBoolean() ? Sender.ListKind.WHOLE : Sender.ListKind.CACHED, all);
+                harness.list(random.nextBoolean() ? ListUpdateKind.COMPLETE : ListUpdateKind.CACHED, all);
             }
             for (PolicyTestHarness.Attempt a : harness.out()) {
                 int roll = random.nextInt(100);
                 boolean ill = harness.messages.get(a.id()).msg.destination() == failing;
                 if (roll < 25 && !ill) {
-                    harness.answer(a, Result.DELIVERED, 0);
+                    harness.answer(a, AttemptResult.DELIVERED, 0);
                 } else if (roll < (ill ? 30 : 28)) {
-                    Result r = Result.values()[1 + random.nextInt(Result.values().length - 1)];
-                    boolean cancelled = r == Result.CANCELLED || r == Result.TIMEOUT;
+                    AttemptResult r = AttemptResult.values()[1 + random.nextInt(AttemptResult.values().length - 1)];
+                    boolean cancelled = r == AttemptResult.CANCELLED || r == AttemptResult.TIMEOUT;
                     harness.answer(
                             a,
-                            cancelled ? Result.RESET : r,
-                            r == Result.FULL && random.nextBoolean() ? random.nextInt(3000) * MS : 0);
+                            cancelled ? AttemptResult.RESET : r,
+                            r == AttemptResult.FULL && random.nextBoolean() ? random.nextInt(3000) * MS : 0);
                 }
             }
             if (random.nextInt(80) == 0) {
                 String side = random.nextBoolean() ? "a:" : "b:";
-                Listing to = Listing.values()[random.nextInt(3)];
+                EndpointStatus to = EndpointStatus.values()[random.nextInt(3)];
                 int d = random.nextInt(dests);
                 harness.list(
-                        Sender.ListKind.CHANGES,
-                        PolicyTestHarness.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
+                        ListUpdateKind.CHANGES, PolicyTestHarness.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
             }
             if (random.nextInt(60) == 0) {
                 harness.messages.values().stream()
@@ -103,8 +100,8 @@
     @Test
     void rulesHoldForManySmallSenders() {
         int senders = 40;
-        Sender.Settings s = PolicyTestHarness.settings(2, new Sender.Kind(false, 1), true);
-        Sender.Settings small = new Sender.Settings(
+        PolicySettings s = PolicyTestHarness.settings(2, new DestinationKind(false, 1), true);
+        PolicySettings small = new PolicySettings(
                 s.classes(),
                 s.kinds(),
                 s.tenantRates(),
@@ -118,13 +115,13 @@
                 true,
                 false,
                 false,
-                Sender.Rates.ROUGH,
+                WeightPrecision.ROUGH,
                 s.maxRetryAfterNs(),
                 s.drainGraceNs(),
-                s.coldShare(),
-                s.coldNs(),
-                s.fallMultiple(),
-                s.fallNs(),
+                s.coldRateRatio(),
+                s.warmUpNs(),
+                s.overloadMultiple(),
+                s.overloadNs(),
                 s.keyRestNs(),
                 s.connections(),
                 s.prices());
@@ -133,9 +130,9 @@
         for (int i = 0; i < senders; i++) {
             rigs[i] = new PolicyTestHarness(small, i);
             rigs[i].list(
-                    Sender.ListKind.CACHED,
-                    new Sender.Endpoint("a:1", 1, 0, 0, Listing.READY, 8),
-                    new Sender.Endpoint("b:1", 2, 0, 0, Listing.READY, 8));
+                    ListUpdateKind.CACHED,
+                    new ListedEndpoint("a:1", 1, 0, 0, EndpointStatus.READY, 8),
+                    new ListedEndpoint("b:1", 2, 0, 0, EndpointStatus.READY, 8));
         }
         int onReturn = 0;
         int done = 0;
@@ -150,7 +147,12 @@
                     boolean failing = a.endpoint().equals("a:1");
                     onReturn += failing && step >= 300 && step < 340 ? 1 : 0;
                     boolean full = failing && !down && step > 300 && room-- <= 0;
-                    r.answer(a, failing && down ? Result.CONNECT_FAILED : full ? Result.FULL : Result.DELIVERED, 0);
+                    r.answer(
+                            a,
+                            failing && down
+                                    ? AttemptResult.CONNECT_FAILED
+                                    : full ? AttemptResult.FULL : AttemptResult.DELIVERED,
+                            0);
                 }
                 r.policy.turnEnd(r.now);
                 r.pass(50 * MS);
--- a/src/test/java/elderseam/policy/RateControllerTest.java
+++ b/src/test/java/elderseam/policy/RateControllerTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Report;
 import org.junit.jupiter.api.Test;
 
 /** The rate controller alone. */
@@ -49,7 +48,7 @@
 
     @Test
     void aReportOfLittleHeadroomSetsThisSendersShare() {
-        rate.onReport(new Report(0.05, 10), NOW);
+        rate.onReport(new LimitReport(0.05, 10), NOW);
         assertEquals(5, rate.pace, "of 10 a second for two senders");
         assertFalse(rate.headroom);
     }
--- a/src/test/java/elderseam/policy/RetryPolicyTest.java
+++ b/src/test/java/elderseam/policy/RetryPolicyTest.java
@@ -7,9 +7,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Outcome;
-import elderseam.policy.Sender.Report;
-import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 /** The retry policy alone. */
@@ -17,7 +14,7 @@
     private final PolicyParts parts = new PolicyParts();
     private final RetryPolicy policy = new RetryPolicy(parts.context);
 
-    private PendingRequest after(int requestClass, Result result) {
+    private PendingRequest after(int requestClass, AttemptResult result) {
         PendingRequest request = parts.request(requestClass);
         request.attempts = 1;
         policy.onEnded(request, parts.call(NOW), result, NOW);
@@ -27,7 +24,7 @@
     @Test
     void whatHadNoEffectMayBeAttemptedAgainAndRejected() {
         for (int requestClass = 0; requestClass < 3; requestClass++) {
-            PendingRequest request = after(requestClass, Result.CONNECT_FAILED);
+            PendingRequest request = after(requestClass, AttemptResult.CONNECT_FAILED);
             assertTrue(RetryPolicy.mayAttempt(request, 1, NOW));
             assertTrue(RetryPolicy.mayReject(request));
         }
@@ -35,12 +32,12 @@
 
     @Test
     void aSafeRequestMayAlwaysBeAttempted() {
-        assertTrue(RetryPolicy.mayAttempt(after(0, Result.RESET), 1, NOW + 100 * S));
+        assertTrue(RetryPolicy.mayAttempt(after(0, AttemptResult.RESET), 1, NOW + 100 * S));
     }
 
     @Test
     void aKeyedRequestMayBeAttemptedInItsZoneAndWindow() {
-        PendingRequest request = after(1, Result.RESET);
+        PendingRequest request = after(1, AttemptResult.RESET);
         assertTrue(RetryPolicy.mayAttempt(request, 0, NOW + 6 * S - 1));
         assertFalse(RetryPolicy.mayAttempt(request, 1, NOW));
         assertFalse(RetryPolicy.mayAttempt(request, 0, NOW + 6 * S));
@@ -49,18 +46,20 @@
 
     @Test
     void anUnsafeRequestThatMayHaveRunIsNeitherAttemptedNorRejected() {
-        PendingRequest request = after(2, Result.TIMEOUT);
+        PendingRequest request = after(2, AttemptResult.TIMEOUT);
         assertFalse(RetryPolicy.mayAttempt(request, NOW));
         assertFalse(RetryPolicy.mayReject(request));
     }
 
     @Test
     void theBackOffDoublesFourTimes() {
-        PendingRequest request = after(0, Result.ERROR);
+        PendingRequest request = after(0, AttemptResult.ERROR);
         for (int attempt = 1; attempt <= 8; attempt++) {
             request.attempts = attempt;
             policy.scheduleRetry(
-                    request, new Outcome("r", 0, "a:1", Result.ERROR, 0, 0, false, false, Report.NONE), NOW);
+                    request,
+                    new CompletedAttempt("r", 0, "a:1", AttemptResult.ERROR, 0, 0, false, false, LimitReport.NONE),
+                    NOW);
             double factor = (request.notBefore - NOW) / (100.0 * MS * (1 << Math.min(4, attempt - 1)));
             assertTrue(factor >= 0.75 && factor <= 1.25, "attempt " + attempt + ": " + factor);
         }
@@ -69,8 +68,9 @@
     @Test
     void beyondTheBudgetRetriesWaitLongest() {
         parts.context.retryRatio = 0.1;
-        PendingRequest request = after(0, Result.ERROR);
-        Outcome outcome = new Outcome("r", 0, "a:1", Result.ERROR, 0, 0, false, false, Report.NONE);
+        PendingRequest request = after(0, AttemptResult.ERROR);
+        CompletedAttempt outcome =
+                new CompletedAttempt("r", 0, "a:1", AttemptResult.ERROR, 0, 0, false, false, LimitReport.NONE);
         policy.scheduleRetry(request, outcome, NOW);
         assertTrue(request.notBefore - NOW <= 125 * MS, "the budget starts with one");
         policy.scheduleRetry(request, outcome, NOW);
@@ -80,7 +80,7 @@
     @Test
     void anOverdueCallIsCancelledOnceOthersWereAnswered() {
         AttemptRecord call = parts.call(NOW);
-        call.requests.add(after(0, Result.NOT_SENT));
+        call.requests.add(after(0, AttemptResult.NOT_SENT));
         parts.group.tickets.lend(call, NOW);
         parts.group.latency.answeredCalls = 3;
         policy.cancelOverdue(parts.group, false, NOW + S);
