--- a/src/test/java/elderseam/policy/RulesTest.java
+++ b/src/test/java/elderseam/policy/RulesTest.java
@@ -7,16 +7,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Kind;
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
     @Test
     void anUnsafeRequestIsRetriedOnlyWhenItNeverRan() {
-        for (Result result : Result.values()) {
-            if (result == Result.DELIVERED) {
+        for (AttemptResult result : AttemptResult.values()) {
+            if (result == AttemptResult.DELIVERED) {
                 continue;
             }
             PolicyTestHarness harness = PolicyTestHarness.simple(8);
@@ -35,27 +32,28 @@
     void aKeyedRequestIsRetriedOnlyWithinItsWindow() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String id = harness.submit(1, -1, 1);
-        harness.answer(id, Result.ERROR);
+        harness.answer(id, AttemptResult.ERROR);
         harness.pass(500 * MS);
         assertTrue(harness.sent(id));
         harness.pass(6 * S);
         if (harness.sent(id)) {
-            harness.answer(id, Result.RESET);
+            harness.answer(id, AttemptResult.RESET);
         }
         assertEquals("refused", harness.end(id), "its key is forgotten; a refusal is harmless only in scope all");
     }
 
     @Test
     void aKeyOfOneZoneStaysInItsZone() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), true), 1);
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(false, 1), true), 1);
         harness.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("b:1", 1, 1, Listing.READY));
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 1, EndpointStatus.READY));
         String id = harness.submit(1, -1, 1);
         assertEquals("a:1", harness.only(id).endpoint());
-        harness.answer(id, Result.ERROR);
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
+        harness.answer(id, AttemptResult.ERROR);
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.DRAINING));
         harness.pass(7 * S);
         assertEquals("failed", harness.end(id), "neither sent to the other zone nor refused");
     }
@@ -63,11 +61,11 @@
     @Test
     void aDrainedEndpointGetsNothingAndItsReplacementDoes() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.GONE));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.GONE));
         String id = harness.submit(0, -1, 1);
         harness.pass(1 * S);
         assertFalse(harness.sent(id));
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
         assertEquals("b:1", harness.only(id).endpoint());
     }
 
@@ -79,7 +77,7 @@
         String other = harness.submit(2, 6, 1);
         assertTrue(harness.sent(first) && harness.sent(other));
         assertFalse(harness.sent(second));
-        harness.answer(first, Result.RESET);
+        harness.answer(first, AttemptResult.RESET);
         assertFalse(harness.sent(second), "the key rests");
         harness.pass(90 * MS);
         assertFalse(harness.sent(second));
@@ -97,7 +95,8 @@
 
     @Test
     void aRequestThatCannotBeDeliveredInTimeIsRejectedEarly() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(false, 1), false), 1);
         String id = harness.submit(0, -1, 1);
         harness.pass(20 * S);
         assertEquals("refused", harness.end(id));
@@ -105,7 +104,8 @@
 
     @Test
     void loadSheddingKeepsRoom() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(false, 1), false), 1);
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(false, 1), false), 1);
         for (int i = 0; i < 400; i++) {
             harness.submit(i % 2, -1, 1);
         }
@@ -116,43 +116,43 @@
 
     @Test
     void aFailedSubscriptionIsRenewed() {
-        Sender.Settings s = PolicyTestHarness.settings(8, new Kind(false, 1), false);
+        PolicySettings s = PolicyTestHarness.settings(8, new DestinationKind(false, 1), false);
         PolicyTestHarness harness = new PolicyTestHarness(
-                new Sender.Settings(
+                new PolicySettings(
                         s.classes(),
                         s.kinds(),
                         s.tenantRates(),
                         s.slots(),
-                        s.mostHeld(),
+                        s.maxHeld(),
                         s.maxAttempts(),
-                        s.senders(),
+                        s.senderCount(),
                         s.zone(),
-                        s.worthHalves(),
-                        s.overShareWorth(),
+                        s.halvesWhenLate(),
+                        s.overQuotaWeight(),
                         s.mayCancel(),
-                        s.secondCopies(),
+                        s.mayHedge(),
                         true,
-                        s.rates(),
+                        s.weightPrecision(),
                         s.maxRetryAfterNs(),
                         s.drainGraceNs(),
-                        s.coldShare(),
-                        s.coldNs(),
-                        s.fallMultiple(),
-                        s.fallNs(),
+                        s.coldRateRatio(),
+                        s.warmUpNs(),
+                        s.overloadMultiple(),
+                        s.overloadNs(),
                         s.keyRestNs(),
                         s.connections(),
                         s.prices()),
                 1);
-        harness.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
         assertEquals(1, harness.subscribes);
-        harness.policy.endpoints(harness.now, Sender.ListKind.FAILED, java.util.List.of());
+        harness.policy.endpoints(harness.now, ListUpdateKind.FAILED, java.util.List.of());
         harness.policy.turnEnd(harness.now);
         harness.pass(1 * S);
         assertEquals(2, harness.subscribes);
         for (int i = 3;
                 i < 12;
                 i++) { // however long discovery was away: what it has to tell at its return counts as told 6 s after
-            harness.policy.endpoints(harness.now, Sender.ListKind.FAILED, java.util.List.of());
+            harness.policy.endpoints(harness.now, ListUpdateKind.FAILED, java.util.List.of());
             harness.policy.turnEnd(harness.now);
             harness.pass(5 * S);
             assertEquals(i, harness.subscribes);
@@ -161,16 +161,18 @@
 
     @Test
     void routesApartHaveBreakersOfTheirOwn() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(true, 1), false), 1);
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(true, 1), false), 1);
         harness.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
         for (int i = 0; i < 40; i++) {
             String id = harness.submit(2, -1, 1);
             harness.pass(20 * MS);
             for (PolicyTestHarness.Attempt a : harness.out()) {
-                harness.answer(a, a.endpoint().equals("a:1") ? Result.CONNECT_FAILED : Result.DELIVERED, 0);
+                harness.answer(
+                        a, a.endpoint().equals("a:1") ? AttemptResult.CONNECT_FAILED : AttemptResult.DELIVERED, 0);
             }
             harness.policy.turnEnd(harness.now);
         }
@@ -181,11 +183,12 @@
 
     @Test
     void routesApartTogetherKeepTheCapOfTheirDestination() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(8, new Kind(true, 1), false), 1);
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(8, new DestinationKind(true, 1), false), 1);
         harness.list(
-                Sender.ListKind.CACHED,
-                PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY),
-                PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
+                ListUpdateKind.CACHED,
+                PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
+                PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
@@ -194,8 +197,9 @@
 
     @Test
     void aBatchSharesOneTicket() {
-        PolicyTestHarness harness = new PolicyTestHarness(PolicyTestHarness.settings(4, new Kind(false, 5), false), 1);
-        harness.list(Sender.ListKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        PolicyTestHarness harness =
+                new PolicyTestHarness(PolicyTestHarness.settings(4, new DestinationKind(false, 5), false), 1);
+        harness.list(ListUpdateKind.CACHED, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
         for (int i = 0; i < 5; i++) {
             harness.take(0, -1, 1);
         }
@@ -209,7 +213,7 @@
         String id = harness.submit(0, -1, 1);
         assertThrows(
                 IllegalArgumentException.class,
-                () -> harness.policy.message(harness.now, harness.messages.get(id).msg));
+                () -> harness.policy.request(harness.now, harness.messages.get(id).msg));
         assertThrows(IllegalArgumentException.class, () -> harness.policy.turnEnd(harness.now - 1));
         harness.policy.withdrawn(harness.now, "nobody");
         harness.policy.timer(harness.now, 99);
@@ -224,11 +228,11 @@
         String id = spent.submit(0, -1, 1);
         while (spent.messages.get(id).attempts < spent.settings.maxAttempts()) {
             if (spent.sent(id)) {
-                spent.answer(id, Result.NOT_SENT);
+                spent.answer(id, AttemptResult.NOT_SENT);
             }
             spent.pass(20 * MS);
         }
-        spent.answer(id, Result.NOT_SENT);
+        spent.answer(id, AttemptResult.NOT_SENT);
         assertEquals("refused", spent.end(id), "attempts spent");
         assertRetryAfter(spent, id);
 
@@ -241,11 +245,11 @@
 
         PolicyTestHarness ran = PolicyTestHarness.simple(8);
         id = ran.submit(2, -1, 1);
-        ran.answer(id, Result.RESET);
+        ran.answer(id, AttemptResult.RESET);
         assertEquals("failed", ran.end(id), "may have run and may not be repeated");
 
         PolicyTestHarness store = PolicyTestHarness.simple(1);
-        for (int i = 0; i <= store.settings.mostHeld(); i++) {
+        for (int i = 0; i <= store.settings.maxHeld(); i++) {
             store.submit(0, -1, 1);
         }
         String refused = store.messages.entrySet().stream()
--- a/src/test/java/elderseam/policy/SettingsTest.java
+++ b/src/test/java/elderseam/policy/SettingsTest.java
@@ -11,9 +11,9 @@
     void aSenderWithoutSlotsIsRejectedByName() {
         IllegalArgumentException e = assertThrows(
                 IllegalArgumentException.class,
-                () -> new Sender.Settings(
-                        List.of(new Sender.MessageClass(Sender.Effect.SAFE, false, false, 1, 2, 1, 0, 0)),
-                        List.of(new Sender.Kind(false, 1)),
+                () -> new PolicySettings(
+                        List.of(new RequestClass(Idempotency.SAFE, false, false, 1, 2, 1, 0, 0)),
+                        List.of(new DestinationKind(false, 1)),
                         List.of(),
                         0,
                         10,
@@ -25,7 +25,7 @@
                         true,
                         false,
                         false,
-                        Sender.Rates.UNTOLD,
+                        WeightPrecision.UNKNOWN,
                         0,
                         0,
                         1,
@@ -33,8 +33,8 @@
                         1,
                         0,
                         0,
-                        new Sender.Connections(0, 1, 0),
-                        new Sender.Prices(0, 0, List.of())));
+                        new ConnectionSettings(0, 1, 0),
+                        new PriceSettings(0, 0, List.of())));
         assertTrue(e.getMessage().contains("slots"), e.getMessage());
     }
 }
--- a/src/test/java/elderseam/policy/ShedTest.java
+++ b/src/test/java/elderseam/policy/ShedTest.java
@@ -18,7 +18,7 @@
         String last = r.submit(0, -1, 1);
         while (r.end(last) == null) {
             taken.add(last);
-            assertTrue(taken.size() <= r.settings.mostHeld(), "one has to give way");
+            assertTrue(taken.size() <= r.settings.maxHeld(), "one has to give way");
             last = r.submit(0, -1, 1);
         }
         assertTrue(r.end(last).startsWith("refuse"), r.end(last));
@@ -29,7 +29,7 @@
     @Test
     void theFullestDestinationGivesWayToOneThatNeedNotWait() {
         PolicyTestHarness r = PolicyTestHarness.simple(4);
-        r.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, Sender.Listing.READY));
+        r.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, EndpointStatus.READY));
         List<String> taken = new ArrayList<>();
         for (String id = r.submit(0, -1, 1); r.end(id) == null; id = r.submit(0, -1, 1)) {
             taken.add(id);
--- a/src/test/java/elderseam/policy/SuccessionTest.java
+++ b/src/test/java/elderseam/policy/SuccessionTest.java
@@ -4,15 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.policy.Sender.Listing;
-import elderseam.policy.Sender.Result;
 import java.util.ArrayDeque;
 import org.junit.jupiter.api.Test;
 
 /** What a sender passes on to the one in its place, and what it makes of an endpoint that comes back. */
 class SuccessionTest {
     /** First written, then read. */
-    private static final class Copy implements Sender.Ledger {
+    private static final class Copy implements SnapshotCursor {
         private final ArrayDeque<Object> values = new ArrayDeque<>();
         private boolean reads;
 
@@ -26,7 +24,7 @@
         }
 
         @Override
-        public long whole(long value) {
+        public long integer(long value) {
             return pass(value);
         }
 
@@ -49,13 +47,13 @@
     /** A sender that has taken over the snapshot of another. */
     private static PolicyTestHarness successor(PolicyTestHarness of) {
         Copy copy = new Copy();
-        of.policy.carry(of.now, copy);
+        of.policy.transfer(of.now, copy);
         copy.reads = true;
         PolicyTestHarness successor = new PolicyTestHarness(of.settings, 8);
         successor.now = of.now;
         successor.listed.putAll(of.listed);
         successor.waits.putAll(of.waits);
-        successor.policy.carry(of.now, copy);
+        successor.policy.transfer(of.now, copy);
         assertTrue(copy.values.isEmpty(), "all that was written is read");
         return successor;
     }
@@ -64,11 +62,11 @@
     void aRetryAfterAndAnOpenBreakerAreTakenOver() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String id = harness.submit(0, -1, 1);
-        harness.answer(harness.only(id), Result.FULL, 5 * PolicyTestHarness.S);
+        harness.answer(harness.only(id), AttemptResult.FULL, 5 * PolicyTestHarness.S);
         harness.policy.turnEnd(harness.now);
         PolicyTestHarness successor = successor(harness);
-        assertEquals(new Sender.Listed(1, 1), successor.policy.listed(successor.now));
-        assertFalse(successor.policy.mayCall(successor.now, "none", "a:1"));
+        assertEquals(new EndpointCounts(1, 1), successor.policy.endpointCounts(successor.now));
+        assertFalse(successor.policy.mayStart(successor.now, "none", "a:1"));
         String next = successor.submit(0, -1, 1); // the harness asserts that the wait is heeded
         successor.pass(4 * PolicyTestHarness.S);
         assertFalse(successor.sent(next));
@@ -80,7 +78,7 @@
     void anOpenBreakerStaysOpen() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         for (int i = 0; i < 4; i++) {
-            harness.answer(harness.submit(2, i, 1), Result.ERROR); // unsafe ones: each fails at once
+            harness.answer(harness.submit(2, i, 1), AttemptResult.ERROR); // unsafe ones: each fails at once
         }
         PolicyTestHarness successor = successor(harness);
         String id = successor.submit(0, -1, 1);
@@ -103,17 +101,17 @@
         successor.policy.restored(successor.now, sent.msg, 1, false, 0);
         successor.policy.adopted(successor.now, id, out.endpoint(), out.start());
         successor.policy.turnEnd(successor.now);
-        Sender.Message second =
-                new Sender.Message("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
+        PolicyRequest second =
+                new PolicyRequest("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
         PolicyTestHarness.Sent waits =
                 new PolicyTestHarness.Sent(second, successor.settings.classes().get(0));
         successor.messages.put("second", waits);
         successor.active.put("second", waits);
-        successor.policy.message(successor.now, second);
+        successor.policy.request(successor.now, second);
         successor.pass(200 * PolicyTestHarness.MS);
         assertFalse(successor.sent("second"), "the one slot is taken");
         assertEquals(1, sent.out.size());
-        successor.answer(id, Result.DELIVERED);
+        successor.answer(id, AttemptResult.DELIVERED);
         assertTrue(successor.sent("second"));
     }
 
@@ -121,10 +119,10 @@
     @Test
     void aReturnedEndpointIsCold() {
         PolicyTestHarness harness = PolicyTestHarness.simple(40);
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, Listing.READY));
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.DRAINING));
         harness.pass(100 * PolicyTestHarness.MS);
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
@@ -132,7 +130,7 @@
                 harness.out().stream().filter(a -> a.endpoint().equals("a:1")).count();
         assertEquals(1, cold);
         assertEquals(19, harness.out().size() - cold);
-        harness.out().forEach(a -> harness.answer(a, Result.DELIVERED, 0));
+        harness.out().forEach(a -> harness.answer(a, AttemptResult.DELIVERED, 0));
         harness.pass(10 * PolicyTestHarness.S); // warm by the settings
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
@@ -145,13 +143,13 @@
     @Test
     void theOnlyEndpointReturnsWithASlowStart() {
         PolicyTestHarness harness = PolicyTestHarness.simple(40);
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.DRAINING));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.DRAINING));
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
         harness.pass(100 * PolicyTestHarness.MS);
         assertEquals(0, harness.out().size());
-        harness.list(Sender.ListKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, Listing.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
         harness.pass(100 * PolicyTestHarness.MS);
         assertTrue(harness.out().size() <= 2, harness.out().size() + " calls at once to a cold one");
         harness.pass(5 * PolicyTestHarness.S);
--- a/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
+++ b/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
@@ -7,7 +7,9 @@
 import elderseam.core.AttemptListener;
 import elderseam.core.EndpointCall;
 import elderseam.core.FinalOutcome;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import elderseam.testkit.emulator.RuleCheckers.Rule;
 import java.util.HashMap;
 import java.util.List;
@@ -34,12 +36,12 @@
         }
 
         @Override
-        public void hosts(Sender.ListKind kind, List<Sender.Endpoint> list) {
-            for (Sender.Endpoint e : list) {
-                if (e.listing() != Sender.Listing.READY && fault != Rule.DRAIN_BROKEN) {
+        public void hosts(ListUpdateKind kind, List<ListedEndpoint> list) {
+            for (ListedEndpoint e : list) {
+                if (e.status() != EndpointStatus.READY && fault != Rule.DRAIN_BROKEN) {
                     draining.add(e.address());
                     endpoints.remove(e.destination(), e.address());
-                } else if (e.listing() != Sender.Listing.GONE) {
+                } else if (e.status() != EndpointStatus.GONE) {
                     endpoints.putIfAbsent(e.destination(), e.address());
                 }
             }
