--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -49,7 +49,7 @@
         this.file = file;
         this.moved = config;
         boolean ruled = !settings.get(SettingKeys.RULES_FILES).isEmpty()
-                || !ties.journal.schemes().isEmpty();
+                || !ties.journal.keySchemes().isEmpty();
         rules = ruled ? rules(RulesSetup.load(config.settings(), settings)) : null;
     }
 
@@ -110,7 +110,7 @@
     }
 
     private Settings merged(Path texts) throws IOException {
-        return Settings.read(VersionContent.merged(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        return Settings.read(VersionContent.mergeSettings(file, texts), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
     }
 
     private void move(Settings told) {
@@ -122,7 +122,7 @@
     private void guard() {
         VersionService versions = neighbours == null ? null : neighbours.versions();
         if (versions != null) {
-            rulings(versions.guard(rules, ties.relay::knows));
+            rulings(versions.guard(rules, ties.relay::isKnown));
         }
     }
 
--- a/src/main/java/elderseam/policy/PolicySnapshot.java
+++ b/src/main/java/elderseam/policy/PolicySnapshot.java
@@ -57,7 +57,7 @@
         CircuitBreaker breaker = group.breaker;
         RateController rate = group.rate;
         LatencyTracker latency = group.latency;
-        breaker.state = BreakerState.values()[(int) snapshot.integer(breaker.state.ordinal())];
+        breaker.state = BreakerState.ofSnapshotCode(snapshot.integer(breaker.state.snapshotCode()));
         breaker.openedByHang = snapshot.flag(breaker.openedByHang);
         long openUntil = snapshot.time(breaker.openUntil);
         long retryAfterUntil = snapshot.time(rate.retryAfterUntil);
--- a/src/main/java/elderseam/testkit/emulator/PartitionView.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -74,8 +74,8 @@
     private void look() {
         Set<Integer> now = new HashSet<>(place.view().seen);
         now.add(place.number());
-        size.seen(place.time().now(), now.size());
-        int by = size.sharers(place.time().now());
+        size.observe(place.time().now(), now.size());
+        int by = size.estimate(place.time().now());
         if (changed || by != sharers || !now.equals(members)) {
             changed = false;
             sharers = by;
@@ -85,7 +85,7 @@
             listed.values().forEach(all::addAll);
             preferred = EndpointSubsetting.preferred(
                     "m" + place.number(), names, listed, place.plan().fleet().connections(), 1);
-            relay.part(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
+            relay.setFleetShare(sharers, e -> preferred.contains(e) || !all.contains(e), 1);
         }
         place.at(place.time().now() + LOOK_NS, this::look);
     }
--- a/src/test/java/elderseam/policy/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -172,7 +172,7 @@
                 "rest of class 0 " + ago.applyAsLong(endpoint.ejectedUntil[0]),
                 "failures of class 1 " + endpoint.failures[1],
                 "rest of class 1 " + ago.applyAsLong(endpoint.ejectedUntil[1]),
-                "breaker state " + breaker.state.ordinal(),
+                "breaker state " + breaker.state.snapshotCode(),
                 "opened by a hang " + breaker.openedByHang,
                 "open until " + ago.applyAsLong(breaker.openUntil),
                 "Retry-After until " + ago.applyAsLong(rate.retryAfterUntil),
