--- a/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
+++ b/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
@@ -2,7 +2,8 @@
 
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.PolicySettings;
 import elderseam.rules.RuleEnvironment;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,18 +20,18 @@
 
     private final Clock clock;
     private final RequestDispatcher dispatcher;
-    private final Sender.Settings policySettings;
-    private final Map<Long, Sender.Breaker> breakers = new HashMap<>();
+    private final PolicySettings policySettings;
+    private final Map<Long, BreakerView> breakers = new HashMap<>();
     private long breakersReadNs = NEVER_NS;
 
-    DispatcherRuleEnvironment(Clock clock, RequestDispatcher dispatcher, Sender.Settings policySettings) {
+    DispatcherRuleEnvironment(Clock clock, RequestDispatcher dispatcher, PolicySettings policySettings) {
         this.clock = clock;
         this.dispatcher = dispatcher;
         this.policySettings = policySettings;
     }
 
     /** The destination's breaker; null where nothing is known of it. */
-    private Sender.Breaker find(long destination) {
+    private BreakerView find(long destination) {
         long nowNs = clock.now();
         if (nowNs - breakersReadNs > MAX_AGE_NS) {
             breakersReadNs = nowNs;
@@ -42,11 +43,11 @@
 
     @Override
     public Breaker breaker(long destination) {
-        Sender.Breaker breaker = find(destination);
+        BreakerView breaker = find(destination);
         if (breaker == null) {
             return Breaker.CLOSED;
         }
-        return switch (breaker.standing()) {
+        return switch (breaker.state()) {
             case CLOSED -> Breaker.CLOSED;
             case HALF_OPEN -> Breaker.HALF_OPEN;
             case OPEN -> Breaker.OPEN;
@@ -55,7 +56,7 @@
 
     @Override
     public long waitNs(long destination) {
-        Sender.Breaker breaker = find(destination);
+        BreakerView breaker = find(destination);
         return breaker == null ? 0 : Math.max(0, breaker.waitNs());
     }
 
@@ -74,6 +75,6 @@
         if (tenant < 0 || tenant >= policySettings.tenantRates().size()) {
             return 0;
         }
-        return policySettings.tenantRates().get(tenant) / Math.max(1, policySettings.senders());
+        return policySettings.tenantRates().get(tenant) / Math.max(1, policySettings.senderCount());
     }
 }
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -75,7 +75,7 @@
 
     private PartitionService openPartition() {
         SettingsMap platform = config.settings();
-        int senderCount = platform.settings().senders();
+        int senderCount = platform.settings().senderCount();
         PartitionMembers members = switch (settings.get(SettingKeys.SHARES_MEMBERS)) {
             case "gossip" -> gossip;
             case "told" -> new ConfiguredMembers((int) platform.getLong("me", 0), senderCount);
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -13,7 +13,8 @@
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -27,10 +28,10 @@
  * suspect. Confined to the I/O thread; not loaded where gossip is off.
  */
 final class GossipService implements PartitionMembers {
-    private static final Map<Sender.Standing, HealthReport.State> REPORTED_STATES = Map.of(
-            Sender.Standing.CLOSED, HealthReport.State.CLOSED,
-            Sender.Standing.HALF_OPEN, HealthReport.State.HALF_OPEN,
-            Sender.Standing.OPEN, HealthReport.State.OPEN);
+    private static final Map<BreakerState, HealthReport.State> REPORTED_STATES = Map.of(
+            BreakerState.CLOSED, HealthReport.State.CLOSED,
+            BreakerState.HALF_OPEN, HealthReport.State.HALF_OPEN,
+            BreakerState.OPEN, HealthReport.State.OPEN);
 
     private static final int INCARNATION_RADIX = 36;
 
@@ -87,10 +88,10 @@
         return reports;
     }
 
-    private static GossipAgent.Own ownReport(long destination, Sender.Breaker breaker) {
+    private static GossipAgent.Own ownReport(long destination, BreakerView breaker) {
         long waitMs = Math.max(0, Math.min(Integer.MAX_VALUE, breaker.waitNs() / Clock.MS));
         return new GossipAgent.Own(
-                destination, REPORTED_STATES.get(breaker.standing()), (int) waitMs, breaker.calls(), breaker.failed());
+                destination, REPORTED_STATES.get(breaker.state()), (int) waitMs, breaker.calls(), breaker.failures());
     }
 
     /** What is not applied is taken back: advice of before must not stay. */
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -7,7 +7,7 @@
 import elderseam.fleet.lease.LeaseValidity;
 import elderseam.fleet.lease.RecoveryProbeTask;
 import elderseam.frontend.platform.EndpointList;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -58,8 +58,8 @@
         dispatcher.forEachBreaker(this::check);
     }
 
-    private void check(long destination, Sender.Breaker breaker) {
-        boolean closed = breaker.standing() == Sender.Standing.CLOSED;
+    private void check(long destination, BreakerView breaker) {
+        boolean closed = breaker.state() == elderseam.policy.BreakerState.CLOSED;
         RecoveryProbeTask probe = closed
                 ? probesByDestination.get(destination)
                 : probesByDestination.computeIfAbsent(destination, d -> new RecoveryProbeTask(IDLE_LIMIT_NS, pauseNs));
@@ -68,7 +68,7 @@
         }
         String leaseName = LEASE_PREFIX + destination;
         Optional<LeaseValidity> lease = leases.lease(leaseName);
-        BreakerState state = state(breaker.standing());
+        BreakerState state = state(breaker.state());
         RecoveryProbeTask.Decision decision =
                 probe.decide(clock.now(), state, LeaseOwner.of(lease.isPresent(), leases.isHeldByAnother(leaseName)));
         if (decision.publishesRecovery()) {
@@ -83,7 +83,7 @@
         }
     }
 
-    private static BreakerState state(Sender.Standing own) {
+    private static BreakerState state(elderseam.policy.BreakerState own) {
         return switch (own) {
             case CLOSED -> BreakerState.CLOSED;
             case HALF_OPEN -> BreakerState.HALF_OPEN;
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -9,7 +9,7 @@
 import elderseam.frontend.platform.EndpointList;
 import elderseam.gossip.HealthReport;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.util.HashMap;
@@ -117,8 +117,8 @@
         return preferredEndpoints.contains(endpoint) || !knownEndpoints.contains(endpoint);
     }
 
-    private void takeTurn(long destination, Sender.Breaker breaker) {
-        BreakerState own = state(breaker.standing());
+    private void takeTurn(long destination, BreakerView breaker) {
+        BreakerState own = state(breaker.state());
         if (own == BreakerState.CLOSED) {
             turnsByDestination.remove(destination);
             return;
@@ -134,7 +134,7 @@
         }
     }
 
-    private static BreakerState state(Sender.Standing own) {
+    private static BreakerState state(elderseam.policy.BreakerState own) {
         return switch (own) {
             case CLOSED -> BreakerState.CLOSED;
             case HALF_OPEN -> BreakerState.HALF_OPEN;
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -8,7 +8,8 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.RequestClass;
 import elderseam.rules.IdempotencyKeyScheme;
 import elderseam.rules.KnownNames;
 import elderseam.rules.RuleEngine;
@@ -76,13 +77,11 @@
         this.io = io;
         this.dispatcher = dispatcher;
         this.journal = journal;
-        Sender.Settings policySettings = settings.settings();
+        PolicySettings policySettings = settings.settings();
         this.engine = new RuleEngine(
-                policySettings.classes().stream()
-                        .map(Sender.MessageClass::deadlineNs)
-                        .toList(),
+                policySettings.classes().stream().map(RequestClass::deadlineNs).toList(),
                 policySettings.maxRetryAfterNs(),
-                policySettings.mostHeld(),
+                policySettings.maxHeld(),
                 new DispatcherRuleEnvironment(io.clock, dispatcher, policySettings),
                 text -> System.err.println(text));
         rememberEarlierSchemes(schemeOf(loaded));
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -12,7 +12,7 @@
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 
@@ -58,7 +58,7 @@
                 frontend,
                 new PlatformAttemptSender(io, connections, endpoints, config.settings()));
         dispatcher.updateEndpoints(
-                Sender.ListKind.CACHED, endpoints.decode(config.known().get("servers"), true));
+                ListUpdateKind.CACHED, endpoints.decode(config.known().get("servers"), true));
         return frontend;
     }
 
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -2,7 +2,7 @@
 
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -12,7 +12,7 @@
  */
 final class AttemptTracker {
     private final RequestDispatcher dispatcher;
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final PolicyFacade policy;
     private final Journal journal;
     private final Clock clock;
@@ -23,7 +23,7 @@
 
     AttemptTracker(
             RequestDispatcher dispatcher,
-            Sender.Settings settings,
+            PolicySettings settings,
             PolicyFacade policy,
             Journal journal,
             Clock clock,
--- a/src/main/java/elderseam/core/OperatorDrains.java
+++ b/src/main/java/elderseam/core/OperatorDrains.java
@@ -1,8 +1,8 @@
 package elderseam.core;
 
-import elderseam.policy.Sender.Endpoint;
-import elderseam.policy.Sender.ListKind;
-import elderseam.policy.Sender.Listing;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -21,11 +21,11 @@
     /** Endpoints that may be drained at once. */
     static final int MAX_DRAINED = 1_024;
 
-    /** Endpoint ids that are remembered after they left the list. */
+    /** ListedEndpoint ids that are remembered after they left the list. */
     static final int MAX_REMEMBERED = 4_096;
 
     private final Set<String> drained;
-    private final Map<String, Endpoint> listed = new LinkedHashMap<>();
+    private final Map<String, ListedEndpoint> listed = new LinkedHashMap<>();
     private final Set<String> formerlyListed = new LinkedHashSet<>(); // oldest first
 
     /** {@code drained}: those whose drain has outlasted the process. */
@@ -34,14 +34,14 @@
     }
 
     /** Takes an update of the list; the entries as the policy is to see them. */
-    List<Endpoint> apply(ListKind kind, List<Endpoint> entries) {
-        if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
+    List<ListedEndpoint> apply(ListUpdateKind kind, List<ListedEndpoint> entries) {
+        if (kind != ListUpdateKind.CHANGES && kind != ListUpdateKind.FAILED) {
             listed.keySet().forEach(this::remember);
             listed.clear();
         }
-        List<Endpoint> visible = new ArrayList<>(entries.size());
-        for (Endpoint entry : entries) {
-            if (entry.listing() == Listing.GONE) {
+        List<ListedEndpoint> visible = new ArrayList<>(entries.size());
+        for (ListedEndpoint entry : entries) {
+            if (entry.status() == EndpointStatus.GONE) {
                 listed.remove(entry.address());
                 remember(entry.address());
             } else {
@@ -60,12 +60,17 @@
         }
     }
 
-    private Endpoint withDrain(Endpoint entry) {
-        if (entry.listing() != Listing.READY || !drained.contains(entry.address())) {
+    private ListedEndpoint withDrain(ListedEndpoint entry) {
+        if (entry.status() != EndpointStatus.READY || !drained.contains(entry.address())) {
             return entry;
         }
-        return new Endpoint(
-                entry.address(), entry.destination(), entry.kind(), entry.zone(), Listing.DRAINING, entry.weight());
+        return new ListedEndpoint(
+                entry.address(),
+                entry.destination(),
+                entry.kind(),
+                entry.zone(),
+                EndpointStatus.DRAINING,
+                entry.weight());
     }
 
     /** Whether the endpoint is, or was lately, on the list, or is drained. */
@@ -84,7 +89,7 @@
     }
 
     /** Begins or ends a drain; the change of the list that this makes for the policy. */
-    List<Endpoint> set(String id, boolean drain) {
+    List<ListedEndpoint> set(String id, boolean drain) {
         if (drain) {
             drained.add(id);
         } else {
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -1,8 +1,18 @@
 package elderseam.core;
 
+import elderseam.policy.AttemptResult;
+import elderseam.policy.BreakerView;
+import elderseam.policy.CompletedAttempt;
 import elderseam.policy.DispatchPolicy;
-import elderseam.policy.Sender;
-import elderseam.policy.Sender.Result;
+import elderseam.policy.EndpointCounts;
+import elderseam.policy.LimitReport;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyActions;
+import elderseam.policy.PolicyEvents;
+import elderseam.policy.PolicyRequest;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.SnapshotCursor;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -25,7 +35,7 @@
 
     private static final long NO_ORDER_KEY = -1;
 
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final DispatchPolicy policy;
     private final Consumer<String> log;
     private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
@@ -34,13 +44,13 @@
     private boolean eventsPending;
 
     /** {@code seed}: of the policy's random choices; {@code log}: receives its log lines. */
-    PolicyFacade(Sender.Settings settings, long seed, Consumer<String> log) {
+    PolicyFacade(PolicySettings settings, long seed, Consumer<String> log) {
         this.log = log;
         this.settings = settings;
         this.policy = new DispatchPolicy(settings, seed, new DecisionRecorder());
     }
 
-    Sender.Settings settings() {
+    PolicySettings settings() {
         return settings;
     }
 
@@ -59,17 +69,17 @@
     /** A request was accepted, by this process or by an earlier one. */
     void submit(long time, ActiveRequest request) {
         advanceForEvent(time);
-        Sender.Message message = messageOf(request);
+        PolicyRequest message = messageOf(request);
         if (request.attempts == 0) {
-            policy.message(now, message);
+            policy.request(now, message);
         } else {
             policy.restored(now, message, request.attempts, request.mayHaveRun, request.deduplicatedUntil);
         }
     }
 
-    private static Sender.Message messageOf(ActiveRequest request) {
+    private static PolicyRequest messageOf(ActiveRequest request) {
         ActiveRequest.Message message = request.message;
-        return new Sender.Message(
+        return new PolicyRequest(
                 message.id(),
                 message.classIndex(),
                 message.tenantIndex(),
@@ -103,7 +113,7 @@
     /** Whether an attempt of that request at that endpoint, decided earlier, may still be sent. */
     boolean maySend(long time, String requestId, String endpoint) {
         advanceTo(time);
-        return policy.mayCall(now, requestId, endpoint);
+        return policy.mayStart(now, requestId, endpoint);
     }
 
     /** An attempt that began at {@code start} has ended. */
@@ -111,7 +121,7 @@
         advanceForEvent(time);
         policy.outcome(
                 now,
-                new Sender.Outcome(
+                new CompletedAttempt(
                         requestId,
                         attempt,
                         endpoint,
@@ -123,20 +133,20 @@
                         reportOf(outcome)));
     }
 
-    private static Result resultOf(AttemptOutcome outcome) {
+    private static AttemptResult resultOf(AttemptOutcome outcome) {
         return switch (outcome.status()) {
-            case DELIVERED -> Result.DELIVERED;
-            case ERROR -> Result.ERROR;
-            case FULL -> Result.FULL;
-            case NO_SLOT, SPENT, OVER, HELD -> Result.NOT_SENT;
-            case BROKEN -> outcome.mayHaveRun() ? Result.RESET : Result.CONNECT_FAILED;
-            case TIMED_OUT -> outcome.mayHaveRun() ? Result.TIMEOUT : Result.CONNECT_FAILED;
-            case ABANDONED -> outcome.mayHaveRun() ? Result.CANCELLED : Result.CONNECT_FAILED;
+            case DELIVERED -> AttemptResult.DELIVERED;
+            case ERROR -> AttemptResult.ERROR;
+            case FULL -> AttemptResult.FULL;
+            case NO_SLOT, SPENT, OVER, HELD -> AttemptResult.NOT_SENT;
+            case BROKEN -> outcome.mayHaveRun() ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED;
+            case TIMED_OUT -> outcome.mayHaveRun() ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED;
+            case ABANDONED -> outcome.mayHaveRun() ? AttemptResult.CANCELLED : AttemptResult.CONNECT_FAILED;
         };
     }
 
-    private static Sender.Report reportOf(AttemptOutcome outcome) {
-        return new Sender.Report(outcome.shareLeft(), outcome.limitPerS());
+    private static LimitReport reportOf(AttemptOutcome outcome) {
+        return new LimitReport(outcome.shareLeft(), outcome.limitPerS());
     }
 
     /**
@@ -145,7 +155,7 @@
      */
     void answeredLate(long time, String endpoint, AttemptOutcome outcome) {
         advanceForEvent(time);
-        policy.heard(now, endpoint, outcome.waitNs(), reportOf(outcome));
+        policy.lateAnswer(now, endpoint, outcome.waitNs(), reportOf(outcome));
     }
 
     /** A late response says that the request is complete: nothing may be sent for it any more. */
@@ -157,19 +167,19 @@
     // ---------------------------------------------------------------- endpoints and destinations
 
     /** The endpoint list changed, was read completely, or could not be had. */
-    void updateEndpoints(long time, Sender.ListKind kind, List<Sender.Endpoint> endpoints) {
+    void updateEndpoints(long time, ListUpdateKind kind, List<ListedEndpoint> endpoints) {
         advanceForEvent(time);
         policy.endpoints(now, kind, endpoints);
     }
 
     /** The endpoint list as the policy uses it now. */
-    Sender.Listed listed(long time) {
+    EndpointCounts listed(long time) {
         advanceTo(time);
-        return policy.listed(now);
+        return policy.endpointCounts(now);
     }
 
     /** Visits the circuit breaker of each destination. */
-    void forEachBreaker(long time, BiConsumer<Long, Sender.Breaker> visitor) {
+    void forEachBreaker(long time, BiConsumer<Long, BreakerView> visitor) {
         advanceTo(time);
         policy.breakers(now, visitor);
     }
@@ -179,19 +189,19 @@
      */
     void defer(long time, String endpoint, long pauseNs) {
         advanceForEvent(time);
-        policy.heard(now, endpoint, pauseNs, Sender.Report.NONE);
+        policy.lateAnswer(now, endpoint, pauseNs, LimitReport.NONE);
     }
 
-    /** What other dispatchers report of a destination, as {@link Sender.Events#advised} has it. */
+    /** What other dispatchers report of a destination, as {@link PolicyEvents#advised} has it. */
     void advise(long time, long destination, double suspicion, double probingDispatchers) {
         advanceTo(time);
         policy.advised(now, destination, suspicion, probingDispatchers);
     }
 
-    /** This dispatcher's share of the fleet's work, as {@link Sender.Events#part} has it. */
+    /** This dispatcher's share of the fleet's work, as {@link PolicyEvents#share} has it. */
     void setFleetShare(long time, int dispatchers, Predicate<String> preferred, double retryRatio) {
         advanceForEvent(time);
-        policy.part(now, dispatchers, preferred, retryRatio);
+        policy.share(now, dispatchers, preferred, retryRatio);
     }
 
     // ---------------------------------------------------------------- time and state
@@ -203,9 +213,9 @@
     }
 
     /** Passes the policy's learned state through a ledger, which either records or replaces it. */
-    void transferState(long time, Sender.Ledger ledger) {
+    void transferState(long time, SnapshotCursor ledger) {
         advanceForEvent(time);
-        policy.carry(now, ledger);
+        policy.transfer(now, ledger);
     }
 
     /** Advances the clock and fires the timers that are due. */
@@ -233,7 +243,7 @@
     }
 
     /** Queues what the policy asks for. */
-    private final class DecisionRecorder implements Sender.Actions {
+    private final class DecisionRecorder implements PolicyActions {
         @Override
         public void send(String id, String endpoint, long stopAt) {
             decisions.add(new PolicyDecision.BeginAttempt(id, endpoint, stopAt));
@@ -245,7 +255,7 @@
         }
 
         @Override
-        public void refuse(String id, long retryAfterNs) {
+        public void reject(String id, long retryAfterNs) {
             decisions.add(new PolicyDecision.Complete(id, FinalOutcome.rejected(retryAfterNs)));
         }
 
--- a/src/main/java/elderseam/core/PolicySnapshotCodec.java
+++ b/src/main/java/elderseam/core/PolicySnapshotCodec.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.policy.Sender.Ledger;
+import elderseam.policy.SnapshotCursor;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -29,15 +29,15 @@
     }
 
     /** Records each value that the policy passes through. */
-    static final class Writer implements Ledger {
+    static final class Writer implements SnapshotCursor {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
         private final DataOutputStream out = new DataOutputStream(bytes);
         private final long now;
 
         Writer(Clock clock) {
             now = clock.now();
-            whole(now);
-            whole(clock.wallMs());
+            integer(now);
+            integer(clock.wallMs());
         }
 
         /** All that was written so far. */
@@ -46,7 +46,7 @@
         }
 
         @Override
-        public long whole(long value) {
+        public long integer(long value) {
             try {
                 out.writeLong(value);
             } catch (IOException e) {
@@ -57,14 +57,14 @@
 
         @Override
         public double real(double value) {
-            whole(Double.doubleToLongBits(value));
+            integer(Double.doubleToLongBits(value));
             return value;
         }
 
         @Override
         public long time(long value) {
             flag(isTime(value, now));
-            return whole(value);
+            return integer(value);
         }
 
         @Override
@@ -82,7 +82,7 @@
      * Gives back what was written, in the same order, in place of the values that the policy passes. Every method
      * throws {@link UncheckedIOException} where the bytes end early.
      */
-    static final class Reader implements Ledger {
+    static final class Reader implements SnapshotCursor {
         private final DataInputStream in;
         private final long now;
         private final long clockShiftNs;
@@ -96,8 +96,8 @@
             this.restarted = restarted;
             now = clock.now();
             in = new DataInputStream(new ByteArrayInputStream(bytes));
-            long writtenAt = whole(0);
-            long writtenAtWallMs = whole(0);
+            long writtenAt = integer(0);
+            long writtenAtWallMs = integer(0);
             long wallMs = clock.wallMs();
             ageNs = (wallMs - writtenAtWallMs) * Clock.MS;
             long shift = now - writtenAt - ageNs;
@@ -105,7 +105,7 @@
         }
 
         @Override
-        public long whole(long replaced) {
+        public long integer(long replaced) {
             try {
                 return in.readLong();
             } catch (IOException e) {
@@ -115,18 +115,18 @@
 
         @Override
         public double real(double replaced) {
-            return Double.longBitsToDouble(whole(0));
+            return Double.longBitsToDouble(integer(0));
         }
 
         @Override
         public long time(long replaced) {
             boolean isTime = flag(false);
-            long value = whole(0);
+            long value = integer(0);
             return isTime ? value + clockShiftNs : value;
         }
 
         @Override
-        public long ends(long wait) {
+        public long waitEnd(long wait) {
             return restarted ? Math.min(wait, now) : wait;
         }
 
--- a/src/main/java/elderseam/core/PolicySnapshots.java
+++ b/src/main/java/elderseam/core/PolicySnapshots.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.PolicySettings;
 import java.io.IOException;
 import java.util.Optional;
 
@@ -92,7 +92,7 @@
 
     /** Identifies the counts that a snapshot's length depends on. */
     private int settingsShape() {
-        Sender.Settings settings = policy.settings();
+        PolicySettings settings = policy.settings();
         int classes = settings.classes().size();
         int kinds = settings.kinds().size();
         int tenants = settings.tenantRates().size();
--- a/src/main/java/elderseam/core/RecoverySchedule.java
+++ b/src/main/java/elderseam/core/RecoverySchedule.java
@@ -1,6 +1,6 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.RequestClass;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -48,7 +48,7 @@
      * @param maxAttempts attempts that may be in flight at once: a portion of requests that will be sent is no larger
      * @param now start of the recovery, on {@link Clock#now}
      */
-    RecoverySchedule(List<ActiveRequest> unfinished, List<Sender.MessageClass> classes, int maxAttempts, long now) {
+    RecoverySchedule(List<ActiveRequest> unfinished, List<RequestClass> classes, int maxAttempts, long now) {
         start = now;
         maxOthers = Math.max(MIN_PORTION, maxAttempts);
         List<ActiveRequest> sorted = new ArrayList<>(unfinished);
@@ -60,14 +60,14 @@
     }
 
     /** Whether no further attempt can be made for it. */
-    static boolean hasCertainOutcome(ActiveRequest request, List<Sender.MessageClass> classes, long now) {
+    static boolean hasCertainOutcome(ActiveRequest request, List<RequestClass> classes, long now) {
         if (request.message.deadline() <= now) {
             return true;
         }
         if (!request.mayHaveRun) {
             return false;
         }
-        return switch (classes.get(request.message.classIndex()).effect()) {
+        return switch (classes.get(request.message.classIndex()).idempotency()) {
             case SAFE -> false;
             case KEYED -> request.deduplicatedUntil <= now;
             case UNSAFE -> true;
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -1,6 +1,11 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerView;
+import elderseam.policy.EndpointCounts;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicyEvents;
+import elderseam.policy.PolicySettings;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -23,7 +28,7 @@
     /** What a client is told to wait that was rejected for want of capacity. */
     static final long CAPACITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
 
-    private final Sender.Settings settings;
+    private final PolicySettings settings;
     private final PolicyFacade policy;
     private final Journal journal;
     private final Clock clock;
@@ -41,7 +46,7 @@
     private boolean recovering;
 
     /** A dispatcher whose policy logs to standard error. */
-    public RequestDispatcher(Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
+    public RequestDispatcher(PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
         this(settings, seed, journal, clock, loop, line -> System.err.println("module: " + line));
     }
 
@@ -50,7 +55,7 @@
      * @param log receives the policy's log lines
      */
     public RequestDispatcher(
-            Sender.Settings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
+            PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
@@ -78,7 +83,7 @@
     }
 
     /** Takes an update of the endpoint list, or that none could be had. Ignored after a handover. */
-    public void updateEndpoints(Sender.ListKind kind, List<Sender.Endpoint> endpoints) {
+    public void updateEndpoints(ListUpdateKind kind, List<ListedEndpoint> endpoints) {
         if (!handover.isTransferred()) {
             policy.updateEndpoints(clock.now(), kind, drains.apply(kind, endpoints));
             decisions.run();
@@ -100,7 +105,7 @@
             return DrainResult.NO_CAPACITY;
         }
         if (changes) {
-            policy.updateEndpoints(clock.now(), Sender.ListKind.CHANGES, drains.set(endpoint, drained));
+            policy.updateEndpoints(clock.now(), ListUpdateKind.CHANGES, drains.set(endpoint, drained));
             decisions.run();
         }
         return DrainResult.APPLIED;
@@ -110,10 +115,10 @@
     public List<String> metricLines(List<String> classNames) {
         List<String> lines = new ArrayList<>();
         metrics.appendLines(classNames, lines);
-        Sender.Listed listed = policy.listed(clock.now());
+        EndpointCounts listed = policy.listed(clock.now());
         lines.add("edge_relay.inflight=" + requestsInFlight());
-        lines.add("edge_relay.hosts_listed=" + listed.hosts());
-        lines.add("edge_relay.hosts_down=" + listed.down());
+        lines.add("edge_relay.hosts_listed=" + listed.listed());
+        lines.add("edge_relay.hosts_down=" + listed.unavailable());
         return lines;
     }
 
@@ -229,7 +234,7 @@
     }
 
     private boolean hasCapacity() {
-        return requestsInFlight() < settings.mostHeld();
+        return requestsInFlight() < settings.maxHeld();
     }
 
     /** Whether that message is in flight, or its outcome is remembered. */
@@ -279,7 +284,7 @@
     }
 
     /** Visits the circuit breaker of each destination. */
-    public void forEachBreaker(BiConsumer<Long, Sender.Breaker> visitor) {
+    public void forEachBreaker(BiConsumer<Long, BreakerView> visitor) {
         policy.forEachBreaker(clock.now(), visitor);
     }
 
@@ -295,7 +300,7 @@
     }
 
     /**
-     * Sets this dispatcher's share of the fleet's work until further notice, as {@link Sender.Events#part} has it.
+     * Sets this dispatcher's share of the fleet's work until further notice, as {@link PolicyEvents#share} has it.
      */
     public void setFleetShare(int dispatchers, Predicate<String> preferred, double retryRatio) {
         policy.setFleetShare(clock.now(), dispatchers, preferred, retryRatio);
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -1,9 +1,12 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
-import elderseam.policy.Sender.Effect;
-import elderseam.policy.Sender.Kind;
-import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.ConnectionSettings;
+import elderseam.policy.DestinationKind;
+import elderseam.policy.Idempotency;
+import elderseam.policy.PolicySettings;
+import elderseam.policy.PriceSettings;
+import elderseam.policy.RequestClass;
+import elderseam.policy.WeightPrecision;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -22,8 +25,8 @@
      *
      * @throws IllegalArgumentException naming a setting that is not a number, or out of range
      */
-    public Sender.Settings settings() {
-        return new Sender.Settings(
+    public PolicySettings settings() {
+        return new PolicySettings(
                 messageClasses(),
                 endpointKinds(),
                 tenantRates(),
@@ -45,18 +48,18 @@
                 getDouble("safety.fallMultiple", 1),
                 getLong("safety.fallNs", 0),
                 getLong("safety.keyQuietNs", 0),
-                new Sender.Connections(
+                new ConnectionSettings(
                         getLong("limits.connIdleNs", 0),
                         getLimit("limits.multiplex", 1),
                         getLong("limits.connectTimeoutNs", 0)),
-                new Sender.Prices(getDouble("prices.handshake", 0), getDouble("prices.crossZone", 0), zoneFees()));
+                new PriceSettings(getDouble("prices.handshake", 0), getDouble("prices.crossZone", 0), zoneFees()));
     }
 
-    private List<MessageClass> messageClasses() {
-        List<MessageClass> classes = new ArrayList<>();
+    private List<RequestClass> messageClasses() {
+        List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < count("services"); i++) {
             String prefix = "services." + i + ".";
-            classes.add(new MessageClass(
+            classes.add(new RequestClass(
                     effect(prefix + "effect"),
                     !getText(prefix + "keyScope", "all").equals("all"),
                     getBoolean(prefix + "fifoByKey"),
@@ -69,25 +72,25 @@
         return classes;
     }
 
-    private Effect effect(String path) {
+    private Idempotency effect(String path) {
         return switch (getText(path, "")) {
-            case "repeatable" -> Effect.SAFE;
-            case "by_key" -> Effect.KEYED;
-            case "once" -> Effect.UNSAFE;
+            case "repeatable" -> Idempotency.SAFE;
+            case "by_key" -> Idempotency.KEYED;
+            case "once" -> Idempotency.UNSAFE;
             default -> throw new IllegalArgumentException("unknown " + path);
         };
     }
 
-    private List<Kind> endpointKinds() {
+    private List<DestinationKind> endpointKinds() {
         List<String> routesApart = list("extra.kindApart");
         List<String> batches = list("extra.batchByKind");
         int count = Math.max(1, list("flavors").size());
-        List<Kind> kinds = new ArrayList<>();
+        List<DestinationKind> kinds = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             boolean apart = i < routesApart.size() && routesApart.get(i).equals("true");
             boolean batched = i < batches.size() && !batches.get(i).isEmpty();
             int batch = batched ? (int) parse(batches.get(i), "extra.batchByKind") : 1;
-            kinds.add(new Kind(apart, batch));
+            kinds.add(new DestinationKind(apart, batch));
         }
         return kinds;
     }
@@ -110,11 +113,11 @@
         return fees;
     }
 
-    private Sender.Rates weightPrecision() {
+    private WeightPrecision weightPrecision() {
         return switch (getText("weightKind", "silent")) {
-            case "nominal" -> Sender.Rates.EXACT;
-            case "rough" -> Sender.Rates.ROUGH;
-            default -> Sender.Rates.UNTOLD;
+            case "nominal" -> WeightPrecision.EXACT;
+            case "rough" -> WeightPrecision.ROUGH;
+            default -> WeightPrecision.UNKNOWN;
         };
     }
 
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -10,7 +10,7 @@
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.util.List;
 
@@ -51,7 +51,7 @@
     /** The list as this dispatcher had it last; it may be old. */
     public void known(JsonValue list) {
         version = list.get("version").asLong(0);
-        relay.updateEndpoints(Sender.ListKind.CACHED, hosts.decode(list.get("servers"), true));
+        relay.updateEndpoints(ListUpdateKind.CACHED, hosts.decode(list.get("servers"), true));
     }
 
     /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
@@ -94,7 +94,7 @@
     public void heard(JsonValue list) {
         if (stopped && list.get("version").asLong(0) != version) {
             version = list.get("version").asLong(0);
-            relay.updateEndpoints(Sender.ListKind.WHOLE, hosts.decode(list.get("servers"), true));
+            relay.updateEndpoints(ListUpdateKind.COMPLETE, hosts.decode(list.get("servers"), true));
         }
     }
 
@@ -147,7 +147,7 @@
                 watch();
                 boolean whole = list.get("full").asBoolean();
                 relay.updateEndpoints(
-                        whole ? Sender.ListKind.WHOLE : Sender.ListKind.CHANGES,
+                        whole ? ListUpdateKind.COMPLETE : ListUpdateKind.CHANGES,
                         hosts.decode(list.get("servers"), whole));
                 answered.run();
                 return;
@@ -160,6 +160,6 @@
             watch();
             return;
         }
-        relay.updateEndpoints(Sender.ListKind.FAILED, List.of());
+        relay.updateEndpoints(ListUpdateKind.FAILED, List.of());
     }
 }
--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -1,6 +1,9 @@
 package elderseam.core;
 
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
+import elderseam.policy.ListedEndpoint;
+import elderseam.policy.PolicySettings;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -45,7 +48,7 @@
     DispatcherHarness(Path folder) throws IOException {
         this.folder = folder;
         dispatcher = newDispatcher();
-        listEndpoint(dispatcher, Sender.ListKind.WHOLE);
+        listEndpoint(dispatcher, ListUpdateKind.COMPLETE);
     }
 
     /** A dispatcher on the same folder, as the next process has it. */
@@ -60,7 +63,7 @@
         return created;
     }
 
-    private static Sender.Settings settings() {
+    private static PolicySettings settings() {
         return new SettingsMap(Map.of(
                         "discovery", "ask",
                         "extra.callSlots", "40",
@@ -73,12 +76,12 @@
                 .settings();
     }
 
-    static void listEndpoint(RequestDispatcher target, Sender.ListKind kind) {
-        target.updateEndpoints(kind, List.of(endpoint(Sender.Listing.READY)));
+    static void listEndpoint(RequestDispatcher target, ListUpdateKind kind) {
+        target.updateEndpoints(kind, List.of(endpoint(EndpointStatus.READY)));
     }
 
-    static Sender.Endpoint endpoint(Sender.Listing listing) {
-        return new Sender.Endpoint(ENDPOINT, DESTINATION, 0, 0, listing, 100);
+    static ListedEndpoint endpoint(EndpointStatus listing) {
+        return new ListedEndpoint(ENDPOINT, DESTINATION, 0, 0, listing, 100);
     }
 
     Optional<FinalOutcome> submit(String id) {
--- a/src/test/java/elderseam/core/HandoverTest.java
+++ b/src/test/java/elderseam/core/HandoverTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import elderseam.policy.Sender;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -42,7 +42,7 @@
         RequestDispatcher next = harness.newDispatcher();
         List<String> cancelled = new ArrayList<>();
         next.handover().takeOver(state, attempt -> cancelled.add(attempt.requestId()));
-        DispatcherHarness.listEndpoint(next, Sender.ListKind.CACHED);
+        DispatcherHarness.listEndpoint(next, ListUpdateKind.CACHED);
         next.recover(() -> 0, () -> {});
         assertEquals(List.of(2, 2), List.of(next.requestsInFlight(), next.attemptsInFlight()));
         assertEquals(2, harness.attempts.size(), "nothing is sent again");
--- a/src/test/java/elderseam/core/PolicySnapshotsTest.java
+++ b/src/test/java/elderseam/core/PolicySnapshotsTest.java
@@ -5,7 +5,8 @@
 
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.BreakerState;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,9 +30,9 @@
         harness = new DispatcherHarness(folder);
     }
 
-    private static Sender.Standing breakerState(RequestDispatcher dispatcher) {
-        Sender.Standing[] state = new Sender.Standing[1];
-        dispatcher.forEachBreaker((destination, breaker) -> state[0] = breaker.standing());
+    private static BreakerState breakerState(RequestDispatcher dispatcher) {
+        BreakerState[] state = new BreakerState[1];
+        dispatcher.forEachBreaker((destination, breaker) -> state[0] = breaker.state());
         return state[0];
     }
 
@@ -42,7 +43,7 @@
             harness.submit("m" + i);
             harness.endLast(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.BROKEN));
         }
-        assertEquals(Sender.Standing.OPEN, breakerState(harness.dispatcher));
+        assertEquals(BreakerState.OPEN, breakerState(harness.dispatcher));
         List.copyOf(harness.timers).forEach(Runnable::run);
     }
 
@@ -50,15 +51,14 @@
     private RequestDispatcher nextProcess() throws IOException {
         RequestDispatcher next = harness.newDispatcher();
         next.snapshots().restoreAndSave();
-        DispatcherHarness.listEndpoint(next, Sender.ListKind.CACHED);
+        DispatcherHarness.listEndpoint(next, ListUpdateKind.CACHED);
         return next;
     }
 
     @Test
     void anOpenBreakerOutlastsTheProcess() throws IOException {
         tripBreakerAndSave();
-        assertEquals(
-                Sender.Standing.OPEN, breakerState(nextProcess()), "the next process does not begin with attempts");
+        assertEquals(BreakerState.OPEN, breakerState(nextProcess()), "the next process does not begin with attempts");
     }
 
     @Test
@@ -71,7 +71,7 @@
         byte[] tooLong = new byte[PolicySnapshotStore.MAX_BYTES + 1];
         for (byte[] bytes : List.of(torn, new byte[0], Arrays.copyOf(saved, 30), tooLong)) {
             Files.write(file, bytes);
-            assertEquals(Sender.Standing.CLOSED, breakerState(nextProcess()), bytes.length + " bytes");
+            assertEquals(BreakerState.CLOSED, breakerState(nextProcess()), bytes.length + " bytes");
         }
         JournalStore store = new InMemoryJournalStore();
         new PolicySnapshotStore(store, 7).save(new byte[] {1, 2, 3});
--- a/src/test/java/elderseam/core/RecoveryScheduleTest.java
+++ b/src/test/java/elderseam/core/RecoveryScheduleTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.RecoverySchedule.Stage;
-import elderseam.policy.Sender.Effect;
-import elderseam.policy.Sender.MessageClass;
+import elderseam.policy.Idempotency;
+import elderseam.policy.RequestClass;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -20,11 +20,11 @@
     private static final int REPEATABLE = 0;
     private static final int BY_KEY = 1;
     private static final int ONCE = 2;
-    private static final List<MessageClass> CLASSES =
-            List.of(messageClass(Effect.SAFE), messageClass(Effect.KEYED), messageClass(Effect.UNSAFE));
+    private static final List<RequestClass> CLASSES =
+            List.of(messageClass(Idempotency.SAFE), messageClass(Idempotency.KEYED), messageClass(Idempotency.UNSAFE));
 
-    private static MessageClass messageClass(Effect effect) {
-        return new MessageClass(effect, false, false, SECOND, 10 * SECOND, 1, 0, SECOND);
+    private static RequestClass messageClass(Idempotency effect) {
+        return new RequestClass(effect, false, false, SECOND, 10 * SECOND, 1, 0, SECOND);
     }
 
     private static ActiveRequest request(
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -6,7 +6,8 @@
 
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
-import elderseam.policy.Sender;
+import elderseam.policy.EndpointStatus;
+import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -49,7 +50,7 @@
     /** A failed watch has nothing to do but to be asked for later: the tick for that must not get lost. */
     @Test
     void aTickIsScheduledWhereNothingElseIsDone() {
-        harness.dispatcher.updateEndpoints(Sender.ListKind.FAILED, List.of());
+        harness.dispatcher.updateEndpoints(ListUpdateKind.FAILED, List.of());
         assertEquals(1, harness.timers.size());
     }
 
@@ -60,7 +61,7 @@
         assertEquals(FinalOutcome.Kind.REJECTED, outcome.orElseThrow().kind());
         assertEquals(0, Files.size(folder.resolve("journal")));
         harness.dispatcher.updateEndpoints(
-                Sender.ListKind.CHANGES, List.of(DispatcherHarness.endpoint(Sender.Listing.GONE)));
+                ListUpdateKind.CHANGES, List.of(DispatcherHarness.endpoint(EndpointStatus.GONE)));
         assertEquals(Optional.empty(), harness.submit("y"), "its last endpoint left a moment ago: another may follow");
     }
 
@@ -89,7 +90,7 @@
         FailingStore store = new FailingStore();
         harness.dispatcher = harness.newDispatcher(new Journal(store, 1_000_000, harness.clock));
         store.writesLeft = 1_000;
-        DispatcherHarness.listEndpoint(harness.dispatcher, Sender.ListKind.WHOLE);
+        DispatcherHarness.listEndpoint(harness.dispatcher, ListUpdateKind.COMPLETE);
         for (String id : List.of("a", "b", "c", "d", "e")) {
             store.writesLeft = 1; // its record, not that of its attempt
             assertEquals(Optional.empty(), harness.submit(id));
@@ -97,7 +98,7 @@
         }
         assertEquals(0, harness.attempts.size(), "nothing unrecorded was sent");
         int[] failed = {-1};
-        harness.dispatcher.forEachBreaker((destination, breaker) -> failed[0] = breaker.failed());
+        harness.dispatcher.forEachBreaker((destination, breaker) -> failed[0] = breaker.failures());
         assertEquals(0, failed[0], "the endpoint was never asked");
     }
 
@@ -160,7 +161,7 @@
     void aFullJournalRejectsAtOnce() throws IOException {
         Path small = Files.createDirectory(folder.resolve("small"));
         harness.dispatcher = harness.newDispatcher(new Journal(small, 1_000, harness.clock));
-        DispatcherHarness.listEndpoint(harness.dispatcher, Sender.ListKind.WHOLE);
+        DispatcherHarness.listEndpoint(harness.dispatcher, ListUpdateKind.COMPLETE);
         FinalOutcome outcome = harness.submit("a").orElseThrow();
         assertEquals(FinalOutcome.Kind.REJECTED, outcome.kind());
         assertTrue(outcome.retryAfterNs() > 0, "it says when to retry");
@@ -192,7 +193,7 @@
         harness.submit("a");
         assertEquals(1, harness.attempts.size());
         RequestDispatcher next = harness.newDispatcher();
-        DispatcherHarness.listEndpoint(next, Sender.ListKind.WHOLE);
+        DispatcherHarness.listEndpoint(next, ListUpdateKind.COMPLETE);
         next.recover(() -> 0, () -> {});
         harness.runDueTasks();
         assertEquals(1, harness.attempts.size(), "not sent again");
@@ -247,11 +248,11 @@
     void aDrainOutlastsListAndProcess() throws IOException {
         assertEquals(DrainResult.UNKNOWN_ENDPOINT, harness.dispatcher.setDrained("never", true));
         assertEquals(DrainResult.APPLIED, harness.dispatcher.setDrained("h", true));
-        DispatcherHarness.listEndpoint(harness.dispatcher, Sender.ListKind.WHOLE);
+        DispatcherHarness.listEndpoint(harness.dispatcher, ListUpdateKind.COMPLETE);
         assertEquals(Optional.empty(), harness.submit("a"));
         assertEquals(0, harness.attempts.size());
         RequestDispatcher next = harness.newDispatcher();
-        DispatcherHarness.listEndpoint(next, Sender.ListKind.CACHED);
+        DispatcherHarness.listEndpoint(next, ListUpdateKind.CACHED);
         next.recover(() -> 0, () -> {});
         assertEquals(0, harness.attempts.size());
         assertTrue(next.metricLines(List.of("c")).contains("edge_relay.hosts_down=1"));
@@ -260,7 +261,7 @@
         harness.runDueTasks();
         assertTrue(next.metricLines(List.of("c")).contains("edge_relay.hosts_down=0"));
         RequestDispatcher last = harness.newDispatcher();
-        DispatcherHarness.listEndpoint(last, Sender.ListKind.CACHED);
+        DispatcherHarness.listEndpoint(last, ListUpdateKind.CACHED);
         assertTrue(last.metricLines(List.of("c")).contains("edge_relay.hosts_down=0"));
     }
 
--- a/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
@@ -6,7 +6,6 @@
 import elderseam.compat.RecordedBytes;
 import elderseam.fleet.BreakerState;
 import elderseam.gossip.HealthReport;
-import elderseam.policy.Sender;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -48,7 +47,7 @@
     @Test
     void statesOfBreakersShareTheirNames() {
         assertArrayEquals(names(BreakerState.values()), names(HealthReport.State.values()));
-        assertArrayEquals(names(BreakerState.values()), names(Sender.Standing.values()));
+        assertArrayEquals(names(BreakerState.values()), names(elderseam.policy.BreakerState.values()));
     }
 
     private static String[] names(Enum<?>[] values) {
