--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -184,7 +184,7 @@
                             opening.keys(),
                             GossipTimings.USUAL,
                             new GossipTransport.Ties(List::of, (destination, word) -> {}, err::println));
-                    io.at(clock.now() + seconds * 1_000 * Clock.MS, () -> {
+                    io.at(clock.now() + seconds * 1_000L * Clock.MS, () -> {
                         seen.complete(new Seen(post.members(), post.claims(), post.counts()));
                         post.leave();
                     });
--- a/src/main/java/elderseam/frontend/cloudevents/AttributeHeaderCodec.java
+++ b/src/main/java/elderseam/frontend/cloudevents/AttributeHeaderCodec.java
@@ -94,13 +94,13 @@
         for (int i = 0; i < value.length(); ) {
             int c = value.codePointAt(i);
             i += Character.charCount(c);
-            if (c < 0x20 || c >= 0x7f && c <= 0x9f) {
+            if (c < 0x20 || (c >= 0x7f && c <= 0x9f)) {
                 return "a control character, U+" + String.format("%04X", c);
             }
             if (c >= 0xd800 && c <= 0xdfff) {
                 return "half a surrogate pair";
             }
-            if (c >= 0xfdd0 && c <= 0xfdef || (c & 0xfffe) == 0xfffe) {
+            if ((c >= 0xfdd0 && c <= 0xfdef) || (c & 0xfffe) == 0xfffe) {
                 return "a noncharacter, U+" + String.format("%04X", c);
             }
         }
--- a/src/main/java/elderseam/gossip/GossipAgent.java
+++ b/src/main/java/elderseam/gossip/GossipAgent.java
@@ -210,7 +210,7 @@
                 boolean changed = last == null || last.state != o.state();
                 if (silent
                         || changes != changed
-                        || !changed && (o.state() == HealthReport.State.CLOSED || now - last.at < AGAIN_NS)) {
+                        || (!changed && (o.state() == HealthReport.State.CLOSED || now - last.at < AGAIN_NS))) {
                     continue;
                 }
                 if (!issues.take(1, now)) {
--- a/src/main/java/elderseam/gossip/Membership.java
+++ b/src/main/java/elderseam/gossip/Membership.java
@@ -209,7 +209,7 @@
 
     private void newProbe(long now, long later) {
         probe = new Probe();
-        long slower = 1 + health;
+        long slower = 1L + health;
         probe.end = now + tempo.periodNs() * slower + later;
         probe.answerBy = now + tempo.ackNs() * slower;
         if (later > 0 || roll.all().isEmpty()) {
--- a/src/main/java/elderseam/gossip/MembershipTable.java
+++ b/src/main/java/elderseam/gossip/MembershipTable.java
@@ -166,11 +166,11 @@
     }
 
     private void hearOfSelf(MembershipUpdate r) {
-        boolean wrong = r.standing() != MemberState.ALIVE && r.incarnation() >= incarnation
-                || r.standing() == MemberState.ALIVE
+        boolean wrong = (r.standing() != MemberState.ALIVE && r.incarnation() >= incarnation)
+                || (r.standing() == MemberState.ALIVE
                         && (r.incarnation() > incarnation
-                                || r.incarnation() == incarnation
-                                        && !r.address().equals(address));
+                                || (r.incarnation() == incarnation
+                                        && !r.address().equals(address))));
         if (wrong) {
             incarnation = r.incarnation() + 1;
             if (r.standing() == MemberState.SUSPECT) {
--- a/src/main/java/elderseam/gossip/PacketCodec.java
+++ b/src/main/java/elderseam/gossip/PacketCodec.java
@@ -196,9 +196,9 @@
         return !text.isEmpty()
                 && text.length() <= LONGEST
                 && text.chars()
-                        .allMatch(c -> c >= 'a' && c <= 'z'
-                                || c >= 'A' && c <= 'Z'
-                                || c >= '0' && c <= '9'
+                        .allMatch(c -> (c >= 'a' && c <= 'z')
+                                || (c >= 'A' && c <= 'Z')
+                                || (c >= '0' && c <= '9')
                                 || c == '.'
                                 || c == '_'
                                 || c == '-');
--- a/src/main/java/elderseam/gossip/security/PacketAuthenticator.java
+++ b/src/main/java/elderseam/gossip/security/PacketAuthenticator.java
@@ -147,7 +147,7 @@
             return drop(Drop.OVERSIZED, from);
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 0, length);
-        if (length < LEAST + 1 || (b.getInt(0) & 0xffff_ff00) != MAGIC || bytes[3] != DATA && bytes[3] != HELLO) {
+        if (length < LEAST + 1 || (b.getInt(0) & 0xffff_ff00) != MAGIC || (bytes[3] != DATA && bytes[3] != HELLO)) {
             return drop(Drop.FORM, from);
         }
         b.position(4);
@@ -189,7 +189,7 @@
             long wallMs,
             long now) {
         boolean fresh = token != 0 && token == p.offered;
-        if (token == 0 || token != p.handed && !fresh) {
+        if (token == 0 || (token != p.handed && !fresh)) {
             return greet(p, token, number, from, wallMs, now);
         }
         if (!fresh && !unseen(p, number)) {
@@ -239,7 +239,7 @@
                 && number > seed.helloAt
                 && number <= seed.sent
                 && number > seed.sent - WINDOW;
-        if (!asked && !asSeed || offered == 0) { // one of several that answer the same question, or one of old
+        if ((!asked && !asSeed) || offered == 0) { // one of several that answer the same question, or one of old
             return drop(Drop.HELLO, from);
         }
         if (!genuine(p, key, bytes, length, from, now)) {
--- a/src/main/java/elderseam/gossip/security/Roster.java
+++ b/src/main/java/elderseam/gossip/security/Roster.java
@@ -129,7 +129,7 @@
                 return null;
             }
             IPAddress a = new IPAddressString(text).toAddress();
-            if (a == null || a.isPrefixed() && !a.isPrefixBlock()) { // with host bits: most likely a slip
+            if (a == null || (a.isPrefixed() && !a.isPrefixBlock())) { // with host bits: most likely a slip
                 return null;
             }
             return a;
--- a/src/main/java/elderseam/gossip/transport/DatagramTransport.java
+++ b/src/main/java/elderseam/gossip/transport/DatagramTransport.java
@@ -29,7 +29,7 @@
     private final TokenBucket pace;
     private final ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
     private final SocketAddressBuffer address = new SocketAddressBuffer();
-    private long rests, unsent;
+    private long rests;
 
     DatagramTransport(IoLoop io, InetSocketAddress at, Reader reader) throws IOException {
         this.io = io;
@@ -60,19 +60,17 @@
                 }
                 reader.read(address.getSourceAddress(InetSocketAddress.class), buffer.array(), buffer.position());
             }
-        } catch (IOException e) { // such as an ICMP error for an earlier datagram
-            unsent++;
+        } catch (IOException e) {
+            // such as an ICMP error for an earlier datagram
         }
     }
 
     /** Sends one; what the kernel does not take at once is lost, as datagrams may be. */
     void send(InetSocketAddress to, byte[] bytes) {
         try {
-            if (!channel.sendTo(to, ByteBuffer.wrap(bytes))) {
-                unsent++;
-            }
-        } catch (IOException | RuntimeException e) { // no route, a port of 0
-            unsent++;
+            channel.sendTo(to, ByteBuffer.wrap(bytes));
+        } catch (IOException | RuntimeException e) {
+            // no route, a port of 0: lost, as datagrams may be
         }
     }
 
@@ -86,7 +84,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            unsent++;
+            // nothing is read from it any more
         }
     }
 }
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -116,7 +116,7 @@
 
         /** Whether nothing of a request has come since the last answer, or since it connected. */
         private boolean rests() {
-            return (state == State.IDLE || state == State.READING && first) && !heads.begun();
+            return (state == State.IDLE || (state == State.READING && first)) && !heads.begun();
         }
 
         private void to(State next, long by) {
@@ -152,7 +152,7 @@
 
             @Override
             public int write(ByteBuffer bytes) throws IOException {
-                if (!ours && (state == State.IDLE || state == State.READING && first)) {
+                if (!ours && (state == State.IDLE || (state == State.READING && first))) {
                     ours = true;
                     refuse(Downstream.this, 400);
                     return 0;
@@ -318,7 +318,7 @@
                 for (Downstream d : open.values()) {
                     boolean idle = d.state == State.IDLE;
                     if (idle
-                            ? !d.heads.begun() && (now >= d.until || crowded && now - d.since > KEPT_SHORT_NS)
+                            ? !d.heads.begun() && (now >= d.until || (crowded && now - d.since > KEPT_SHORT_NS))
                             : now >= d.until) {
                         due.add(d); // an idle one with a head half read has Undertow's time for it
                     }
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -268,7 +268,7 @@
 
         private void connect() {
             InetSocketAddress to = host.socket();
-            if (to == null || open >= most && !makeRoom()) {
+            if (to == null || (open >= most && !makeRoom())) {
                 io.run(() -> finish(Status.BROKEN));
                 return;
             }
@@ -394,7 +394,7 @@
 
         /** Ends the sending, which gives the request up as a close would, and listens for what is under way. */
         private boolean listens(Status why) {
-            if (late == null || progress != Progress.WRITTEN || why != Status.TIMED_OUT && why != Status.ABANDONED) {
+            if (late == null || progress != Progress.WRITTEN || (why != Status.TIMED_OUT && why != Status.ABANDONED)) {
                 return false;
             }
             try {
@@ -441,7 +441,7 @@
             }
             if (link != null) {
                 link.current = null;
-                if (failure == null || failure == Status.HELD && progress == Progress.NOT_CONNECTED) {
+                if (failure == null || (failure == Status.HELD && progress == Progress.NOT_CONNECTED)) {
                     keep(host, link);
                 } else if (!listens(failure)) {
                     link.close();
--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -103,7 +103,7 @@
     }
 
     private void letter(char c) {
-        if (++head > MOST_HEAD || c < ' ' && c != '\t' && c != '\r' && c != '\n') {
+        if (++head > MOST_HEAD || (c < ' ' && c != '\t' && c != '\r' && c != '\n')) {
             state = State.SPOILT;
         } else if (c != '\n') {
             line.append(c);
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -202,7 +202,8 @@
         HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH), encodings = headers.get(Headers.TRANSFER_ENCODING);
         return lengths == null
                 ? encodings == null
-                        || encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked")
+                        || (encodings.size() == 1
+                                && encodings.getFirst().strip().equalsIgnoreCase("chunked"))
                 : encodings == null
                         && lengths.size() == 1
                         && LENGTH.matcher(lengths.getFirst()).matches();
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -170,6 +170,7 @@
         }
     }
 
+    @SuppressWarnings("CatchAndPrintStackTrace") // the loop goes on whatever a task throws, and the trace is its report
     private static void guarded(Runnable task) {
         try {
             task.run();
--- a/src/main/java/elderseam/http/RequestHeadValidator.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -104,7 +104,7 @@
             length = 0;
         } else if (c != '\r') {
             length++;
-            bad |= c < ' ' && c != '\t' || !firstLine && !named && (c <= ' ' || c == ':' && length == 1);
+            bad |= (c < ' ' && c != '\t') || (!firstLine && !named && (c <= ' ' || (c == ':' && length == 1)));
             named |= !firstLine && c == ':';
         }
     }
--- a/src/main/java/elderseam/rules/Route.java
+++ b/src/main/java/elderseam/rules/Route.java
@@ -18,7 +18,7 @@
  * it, and whether again, is the module's to decide.
  */
 final class Route {
-    /** {@code share}: of all keys, in hundredths; from {@code fromMs} on a further step each {@code everyMs}. */
+    /** {@code shares}: of all keys, in hundredths; from {@code fromMs} on a further step each {@code everyMs}. */
     record Canary(long destination, double[] shares, long fromMs, long everyMs) {
         double share(long wallMs) {
             long step = wallMs < fromMs ? -1 : (wallMs - fromMs) / everyMs;
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -94,7 +94,7 @@
     }
 
     private static long ns(Object v) {
-        return v instanceof Duration d ? d.getSeconds() > 1_000_000 ? 1_000_000_000_000_000L : d.toNanos() : -1;
+        return v instanceof Duration d ? d.toSeconds() > 1_000_000 ? 1_000_000_000_000_000L : d.toNanos() : -1;
     }
 
     /** Sets what was evaluated. */
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -100,10 +100,10 @@
         String fault = ruling.cls < 0
                 ? "the type is no class of message, and no rule gives one"
                 : ruling.destination < 0 ? "destination is missing, and no rule gives one" : "";
-        return new Decided(fault.isEmpty() ? changed(m, !also.isEmpty(), now) : m, also, fault);
+        return new Decided(fault.isEmpty() ? changed(m, now) : m, also, fault);
     }
 
-    private ActiveRequest.Message changed(ActiveRequest.Message m, boolean known, long now) {
+    private ActiveRequest.Message changed(ActiveRequest.Message m, long now) {
         String same = ruling.key.isEmpty() ? "" : book.scheme().same(ruling.key);
         boolean other = ruling.cls != m.cls();
         long deadline = m.deadline();
--- a/src/main/java/elderseam/rules/RuleInput.java
+++ b/src/main/java/elderseam/rules/RuleInput.java
@@ -18,7 +18,6 @@
     private static final EvaluationError LONG =
             new EvaluationError("a value above " + RuleLimits.HEADER_CHARS + " characters");
 
-    private final RuleLimits extent;
     private final List<String> classes, tenants;
     private final JsonFieldExtractor bodies;
     private final int[] fields; // of a name: its field's number
@@ -34,7 +33,6 @@
     boolean resent;
 
     RuleInput(RuleLimits extent, Scope scope, List<String> classes, List<String> tenants, TenantRates rates) {
-        this.extent = extent;
         this.classes = classes;
         this.tenants = tenants;
         this.rates = rates;
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -4,6 +4,7 @@
 import elderseam.core.RequestAttributes;
 import elderseam.core.RequestDispatcher;
 import elderseam.rules.cel.EvaluationError;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -20,7 +21,7 @@
     private final RuleInput arrival;
     private final TenantRates rates;
     private final IdempotencyKeyScheme scheme;
-    private final Map<Rule, Long> told = new java.util.IdentityHashMap<>();
+    private final IdentityHashMap<Rule, Long> told = new IdentityHashMap<>();
     private Consumer<String> log = words -> {};
     private long second, words;
 
--- a/src/main/java/elderseam/rules/cel/Arithmetic.java
+++ b/src/main/java/elderseam/rules/cel/Arithmetic.java
@@ -74,7 +74,7 @@
             System.arraycopy(b.octets, 0, all, a.octets.length, b.octets.length);
             return new ByteSequence(all);
         }
-        if (x instanceof Instant && y instanceof Duration || y instanceof Instant && x instanceof Duration) {
+        if ((x instanceof Instant && y instanceof Duration) || (y instanceof Instant && x instanceof Duration)) {
             return x instanceof Instant t
                     ? Functions.inRange(t.plus((Duration) y))
                     : Functions.inRange(((Instant) y).plus((Duration) x));
--- a/src/main/java/elderseam/rules/cel/Checker.java
+++ b/src/main/java/elderseam/rules/cel/Checker.java
@@ -23,7 +23,7 @@
     private final String text;
     private final Scope scope;
     private final Map<String, Type> variables = new HashMap<>(); // of macros
-    private final Map<Ast, Type> types = new IdentityHashMap<>();
+    private final IdentityHashMap<Ast, Type> types = new IdentityHashMap<>();
     private final List<ExpressionFault> faults = new ArrayList<>();
 
     private Checker(String text, Scope scope) {
@@ -139,7 +139,7 @@
             variables.put(x.variable(), hidden);
         }
         boolean maps = x.macro().equals("map");
-        if (!Type.fits(filter, BOOL) || !maps && !Type.fits(body, BOOL)) {
+        if (!Type.fits(filter, BOOL) || (!maps && !Type.fits(body, BOOL))) {
             return fault(
                     !Type.fits(filter, BOOL) ? x.filter() : x.body(),
                     "gives " + (Type.fits(filter, BOOL) ? body : filter) + " where bool is expected");
@@ -177,8 +177,8 @@
     private Type in(Ast.Call x, List<Type> args) {
         Type of = args.get(1);
         boolean fits = of == DYN
-                || of instanceof Type.ListType l && Type.fits(args.get(0), l.item())
-                || of instanceof Type.MapType m && Type.fits(args.get(0), m.key());
+                || (of instanceof Type.ListType l && Type.fits(args.get(0), l.item()))
+                || (of instanceof Type.MapType m && Type.fits(args.get(0), m.key()));
         return fits ? BOOL : fault(x, args.get(0) + " in " + of + ", expected a list or a map of such");
     }
 
@@ -246,10 +246,10 @@
         Object value = last instanceof Ast.Literal l ? l.value() : null;
         try {
             if (x.function().equals("matches")) {
-                if (!(value instanceof String)) {
-                    fault(last, "a pattern that is not constant, expected a string literal");
+                if (value instanceof String pattern) {
+                    Functions.pattern(pattern);
                 } else {
-                    Functions.pattern((String) value);
+                    fault(last, "a pattern that is not constant, expected a string literal");
                 }
             } else if (value instanceof String s && x.function().equals("timestamp")) {
                 Functions.timestamp(s);
--- a/src/main/java/elderseam/rules/cel/ComprehensionEvaluator.java
+++ b/src/main/java/elderseam/rules/cel/ComprehensionEvaluator.java
@@ -89,7 +89,7 @@
         if (error != null) {
             in.fail(error);
         }
-        return kind == Kind.ALL || kind == Kind.ONE && trues == 1;
+        return kind == Kind.ALL || (kind == Kind.ONE && trues == 1);
     }
 
     /** Of filter and map: the list; of the others the bool. */
--- a/src/main/java/elderseam/rules/cel/CostEstimator.java
+++ b/src/main/java/elderseam/rules/cel/CostEstimator.java
@@ -1,6 +1,7 @@
 package elderseam.rules.cel;
 
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -12,7 +13,7 @@
     private final Scope scope;
     private final Map<String, ValueSize> variables = new HashMap<>();
     private final long budget;
-    private Map<Ast, Long> seen; // the bound of each node, where it is asked for
+    private IdentityHashMap<Ast, Long> seen; // the bound of each node, where it is asked for
     private Ast culprit; // the first, deepest node that is above the budget by itself
 
     private CostEstimator(Scope scope, long budget) {
@@ -38,7 +39,7 @@
     static String explained(Ast tree, Map<Ast, Type> types, Scope scope) {
         CostEstimator b = new CostEstimator(scope, ValueSize.MOST);
         StringBuilder all = new StringBuilder();
-        b.seen = new java.util.IdentityHashMap<>();
+        b.seen = new IdentityHashMap<>();
         b.of(tree);
         b.explain(tree, 0, types, all);
         return all.toString();
@@ -55,7 +56,7 @@
                 ? x.value() instanceof String s ? "'" + s + "'" : x.value().toString()
                 : a instanceof Ast.Name x
                         ? x.name()
-                        : a instanceof Ast.Present x
+                        : a instanceof Ast.Present
                                 ? "has"
                                 : a instanceof Ast.Select x
                                         ? (x.has() ? "has ." : ".") + x.field()
--- a/src/main/java/elderseam/rules/cel/EvaluationInputs.java
+++ b/src/main/java/elderseam/rules/cel/EvaluationInputs.java
@@ -29,6 +29,7 @@
     }
 
     /** Whether a field that was declared open is there. */
+    @SuppressWarnings("ReferenceEquality") // NO_NAME is one object, and only it means "not there"
     protected boolean present(int name) {
         Object v = value(name);
         if (v instanceof EvaluationError e && e != EvaluationError.NO_NAME) {
--- a/src/main/java/elderseam/rules/cel/Evaluator.java
+++ b/src/main/java/elderseam/rules/cel/Evaluator.java
@@ -190,9 +190,10 @@
             }
             if (v instanceof EvaluationError) {
                 error = error == null ? v : error;
-            } else if (x.macro().equals("all") && v.equals(false) || x.macro().equals("exists") && v.equals(true)) {
+            } else if ((x.macro().equals("all") && v.equals(false))
+                    || (x.macro().equals("exists") && v.equals(true))) {
                 return v;
-            } else if (x.macro().equals("map") || x.macro().equals("filter") && v.equals(true)) {
+            } else if (x.macro().equals("map") || (x.macro().equals("filter") && v.equals(true))) {
                 kept.add(x.macro().equals("map") ? v : item);
             }
             trues += v.equals(true) ? 1 : 0;
--- a/src/main/java/elderseam/rules/cel/Expression.java
+++ b/src/main/java/elderseam/rules/cel/Expression.java
@@ -18,7 +18,7 @@
     private final Ast tree;
     private final Type type;
     private final long bound, budget;
-    private final Map<Ast, Pattern> patterns = new IdentityHashMap<>();
+    private final IdentityHashMap<Ast, Pattern> patterns = new IdentityHashMap<>();
 
     private final String text;
     private final Map<Ast, Type> types;
--- a/src/main/java/elderseam/rules/cel/Functions.java
+++ b/src/main/java/elderseam/rules/cel/Functions.java
@@ -77,7 +77,7 @@
         if (x instanceof Long a && y instanceof Long b) {
             return Long.compare(a, b);
         }
-        if (x instanceof Double a && a.isNaN() || y instanceof Double b && b.isNaN()) {
+        if ((x instanceof Double a && a.isNaN()) || (y instanceof Double b && b.isNaN())) {
             return -2;
         }
         if (x instanceof Double a && y instanceof Double b) {
@@ -146,7 +146,7 @@
         } else {
             return EvaluationError.NO_OVERLOAD;
         }
-        return f.charAt(0) == '<' ? c < 0 || c == 0 && f.length() == 2 : c > 0 || c == 0 && f.length() == 2;
+        return f.charAt(0) == '<' ? c < 0 || (c == 0 && f.length() == 2) : c > 0 || (c == 0 && f.length() == 2);
     }
 
     /** By code points, not by the halves of those beyond 16 bits. */
@@ -351,7 +351,7 @@
     }
 
     static Object inRange(Duration d) {
-        return Math.abs(d.getSeconds()) > MOST_SECONDS ? EvaluationError.RANGE : d;
+        return Math.abs(d.toSeconds()) > MOST_SECONDS ? EvaluationError.RANGE : d;
     }
 
     /** Such as 1h30m or -0.5s; null for none. */
@@ -383,12 +383,12 @@
             return switch (f) {
                 case "getHours" -> d.toHours();
                 case "getMinutes" -> d.toMinutes();
-                case "getSeconds" -> d.getSeconds();
+                case "getSeconds" -> d.toSeconds();
                 case "getMilliseconds" -> (long) d.toMillisPart();
                 default -> EvaluationError.NO_OVERLOAD;
             };
         }
-        if (!(a[0] instanceof Instant t) || a.length == 2 && !(a[1] instanceof String)) {
+        if (!(a[0] instanceof Instant t) || (a.length == 2 && !(a[1] instanceof String))) {
             return EvaluationError.NO_OVERLOAD;
         }
         try {
--- a/src/main/java/elderseam/rules/cel/Lexer.java
+++ b/src/main/java/elderseam/rules/cel/Lexer.java
@@ -37,7 +37,7 @@
     }
 
     private Token next() throws ExpressionException {
-        while (at < text.length() && (" \t\n\r\f".indexOf(peek(0)) >= 0 || peek(0) == '/' && peek(1) == '/')) {
+        while (at < text.length() && (" \t\n\r\f".indexOf(peek(0)) >= 0 || (peek(0) == '/' && peek(1) == '/'))) {
             int end = text.indexOf('\n', at);
             at = peek(0) != '/' ? at + 1 : end < 0 ? text.length() : end;
         }
@@ -46,7 +46,7 @@
         }
         int from = at;
         char c = peek(0);
-        if (isDigit(c) || c == '.' && isDigit(peek(1))) {
+        if (isDigit(c) || (c == '.' && isDigit(peek(1)))) {
             return new Token(Token.Kind.LITERAL, number(), from);
         }
         int prefix = prefix();
@@ -73,7 +73,7 @@
     }
 
     private static boolean isLetter(char c) {
-        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_';
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_';
     }
 
     private Object number() throws ExpressionException {
@@ -144,7 +144,7 @@
         StringBuilder s = new StringBuilder();
         ByteArrayOutputStream b = new ByteArrayOutputStream();
         while (!text.startsWith(quote, at)) {
-            if (at >= text.length() || quote.length() == 1 && (peek(0) == '\n' || peek(0) == '\r')) {
+            if (at >= text.length() || (quote.length() == 1 && (peek(0) == '\n' || peek(0) == '\r'))) {
                 throw fault(from, "a string without an end");
             }
             if (peek(0) == '\\' && !raw) {
@@ -180,7 +180,7 @@
         } else {
             throw fault(from, "an escape that is none");
         }
-        if (!Character.isValidCodePoint(code) || code >= 0xd800 && code <= 0xdfff) {
+        if (!Character.isValidCodePoint(code) || (code >= 0xd800 && code <= 0xdfff)) {
             throw fault(from, "an escape of no character");
         }
         s.appendCodePoint(code);
--- a/src/main/java/elderseam/rules/cel/NameResolver.java
+++ b/src/main/java/elderseam/rules/cel/NameResolver.java
@@ -27,7 +27,7 @@
     }
 
     private Ast of(Ast a) {
-        if (a instanceof Ast.Select || a instanceof Ast.Call c && c.function().equals("[]")) {
+        if (a instanceof Ast.Select || (a instanceof Ast.Call c && c.function().equals("[]"))) {
             Ast name = name(a);
             if (name != null) {
                 return name;
--- a/src/main/java/elderseam/rules/cel/Parser.java
+++ b/src/main/java/elderseam/rules/cel/Parser.java
@@ -160,8 +160,8 @@
     }
 
     private static boolean isSign(Set<String> signs, Token t) {
-        return t.kind() == Token.Kind.SIGN && signs.contains(t.value())
-                || t.kind() == Token.Kind.NAME && t.value().equals("in") && signs.contains("in");
+        return (t.kind() == Token.Kind.SIGN && signs.contains(t.value()))
+                || (t.kind() == Token.Kind.NAME && t.value().equals("in") && signs.contains("in"));
     }
 
     private static Ast even(List<Ast> chain, List<Token> signs, int from, int to) {
@@ -243,7 +243,7 @@
             return new Ast.Call(function, true, args, field.at());
         }
         boolean three = function.equals("map") && args.size() == 3;
-        if (args.size() != 2 && !three || !(args.get(0) instanceof Ast.Name variable)) {
+        if ((args.size() != 2 && !three) || !(args.get(0) instanceof Ast.Name variable)) {
             throw fault(
                     field,
                     function + " takes a name and an expression"
--- a/src/main/java/elderseam/rules/cel/Planner.java
+++ b/src/main/java/elderseam/rules/cel/Planner.java
@@ -299,7 +299,7 @@
         }
         if (is(a, INT)
                 && a instanceof Ast.Call c
-                && (c.function().equals("?:") || c.args().size() == 2 && both(c, INT))) {
+                && (c.function().equals("?:") || (c.args().size() == 2 && both(c, INT)))) {
             Whole w = whole(a);
             return in -> {
                 long v = w.of(in);
--- a/src/main/java/elderseam/rules/cel/Type.java
+++ b/src/main/java/elderseam/rules/cel/Type.java
@@ -48,18 +48,18 @@
         if (given == Plain.DYN || asked == Plain.DYN || given.equals(asked)) {
             return true;
         }
-        return given instanceof ListType g && asked instanceof ListType a && fits(g.item, a.item)
-                || given instanceof MapType h
+        return (given instanceof ListType g && asked instanceof ListType a && fits(g.item, a.item))
+                || (given instanceof MapType h
                         && asked instanceof MapType b
                         && fits(h.key, b.key)
-                        && fits(h.value, b.value);
+                        && fits(h.value, b.value));
     }
 
     /** The type of what may be any of these: theirs where they agree. */
     static Type common(List<Type> types) {
         Type t = null;
         for (Type x : types) {
-            t = t == null || t == Plain.DYN && types.stream().allMatch(y -> y == Plain.DYN)
+            t = t == null || (t == Plain.DYN && types.stream().allMatch(y -> y == Plain.DYN))
                     ? x
                     : t.equals(x) ? t : fits(t, x) && fits(x, t) ? wider(t, x) : Plain.DYN;
         }
--- a/src/main/java/elderseam/testkit/acme/StandInAuthority.java
+++ b/src/main/java/elderseam/testkit/acme/StandInAuthority.java
@@ -35,6 +35,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bouncycastle.asn1.x509.Extension;
 import org.bouncycastle.asn1.x509.Extensions;
 import org.bouncycastle.asn1.x509.GeneralName;
@@ -102,7 +103,8 @@
     private final HttpServer server;
     private final int challengePort;
     private final Duration before, after;
-    private volatile int ordered, signed;
+    private volatile int ordered;
+    private final AtomicInteger signed = new AtomicInteger();
     private final KeyPair rootKey = KeyPairUtils.createKeyPair(2048);
     private final X509Certificate root = CertificateUtils.createTestRootCertificate(
             "CN=elderseam rehearsal root",
@@ -141,7 +143,7 @@
 
     /** How many certificates it has signed. */
     public int signed() {
-        return signed;
+        return signed.get();
     }
 
     public String directory() {
@@ -437,7 +439,7 @@
             }
             o.chain = pem.toString();
             o.status = "valid";
-            signed++;
+            signed.incrementAndGet();
         } catch (IOException | GeneralSecurityException | IllegalArgumentException e) {
             throw new Problem(400, "badCSR", "no usable certificate request: " + e.getMessage());
         }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -156,7 +156,7 @@
                 Status.DELIVERED,
                 queued + service,
                 0,
-                left(m, attempt),
+                left(),
                 reported(m, attempt),
                 queued + service);
     }
@@ -220,7 +220,7 @@
         return start - now;
     }
 
-    private double left(Msg m, int attempt) {
+    private double left() {
         return kind.report() ? Math.max(0.001, Math.min(1, bucket / burst())) : 0;
     }
 
--- a/src/main/java/elderseam/testkit/faults/DatagramProxy.java
+++ b/src/main/java/elderseam/testkit/faults/DatagramProxy.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -37,7 +38,7 @@
         this.to = to;
         this.target = target;
         this.names = names;
-        front = new DatagramSocket(port, InetAddress.getByName("127.0.0.1"));
+        front = new DatagramSocket(port, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
         late = Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "late"));
         daemon(() -> pump(front, this::arrived), "front").start();
     }
@@ -73,7 +74,7 @@
         String sender = names.getOrDefault(from, "");
         DatagramSocket back = backs.get(sender);
         if (back == null) {
-            back = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+            back = new DatagramSocket(0, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
             backs.put(sender, back);
             DatagramSocket one = back;
             daemon(() -> pump(one, (answer, target) -> pass(to, sender, front, answer, from)), "back-" + sender)
@@ -86,7 +87,7 @@
         if (!network.datagram(sender, receiver)) {
             return;
         }
-        late.schedule(
+        ScheduledFuture<?> unused = late.schedule(
                 () -> {
                     try {
                         by.send(new DatagramPacket(bytes, bytes.length, at));
--- a/src/main/java/elderseam/testkit/faults/FaultProxy.java
+++ b/src/main/java/elderseam/testkit/faults/FaultProxy.java
@@ -31,7 +31,7 @@
         this.to = to;
         this.target = target;
         this.pids = pids;
-        server = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
+        server = new ServerSocket(0, 128, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
         start("accept", this::accept);
     }
 
--- a/src/main/java/elderseam/testkit/faults/FencedStore.java
+++ b/src/main/java/elderseam/testkit/faults/FencedStore.java
@@ -36,7 +36,7 @@
         this.history = history;
         this.fenced = fenced;
         this.watch = watch;
-        server = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
+        server = new ServerSocket(0, 128, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
         start(this::accept);
     }
 
--- a/src/main/java/elderseam/testkit/faults/GossipAddresses.java
+++ b/src/main/java/elderseam/testkit/faults/GossipAddresses.java
@@ -66,7 +66,7 @@
         String seeds = String.join(
                 " ",
                 places.values().stream()
-                        .filter(p -> p != own)
+                        .filter(p -> !p.equals(own))
                         .map(GossipAddresses::address)
                         .toList());
         return "[gossip]\nlisten = " + place + ":" + (PORT + own.number) + "\nadvertise = " + address(own) + "\nname = "
--- a/src/main/java/elderseam/testkit/faults/HistoryCheckers.java
+++ b/src/main/java/elderseam/testkit/faults/HistoryCheckers.java
@@ -91,7 +91,7 @@
         return found;
     }
 
-    private static void ends(TreeMap<Long, Belief> tokens, String whose, long at) {
+    private static void ends(Map<Long, Belief> tokens, String whose, long at) {
         if (tokens != null) {
             tokens.replaceAll(
                     (token, b) -> b.holder.startsWith(whose) && b.until > at ? new Belief(b.holder, b.from, at) : b);
--- a/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
@@ -65,7 +65,7 @@
         final long clockOff;
         GossipAgent agent;
         Dispatching dispatching;
-        long tickAt = Long.MAX_VALUE, lives, held, bytes, datagrams;
+        long tickAt = Long.MAX_VALUE, lives, bytes, datagrams;
         boolean up, hung;
         final List<Runnable> whileHung = new ArrayList<>();
 
@@ -107,7 +107,8 @@
         for (int i = 0; i < instances; i++) {
             String name = String.format("n%04d", i);
             nodes.put(
-                    name, new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000 * MS)); // clocks two minutes apart
+                    name,
+                    new Node(name, i % 2, (network.nextInt(240) - 120) * 1_000L * MS)); // clocks two minutes apart
         }
         nodes.values().forEach(n -> start(n, 0));
     }
@@ -356,7 +357,7 @@
     }
 
     private static long whole(Packet p) {
-        return HEAD
+        return (long) HEAD
                 + p.rumours().stream().mapToInt(r -> r.bytes()).sum()
                 + p.claims().stream().mapToInt(c -> c.bytes()).sum();
     }
