--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -173,13 +173,13 @@
     private static boolean mayRepeat(Held h, long now) {
         return !h.maybeRan
                 || Policies.CLASSES.get(h.m.classIndex()).idempotency() == Idempotency.SAFE
-                || Policies.CLASSES.get(h.m.classIndex()).idempotency() == Idempotency.KEYED
+                || (Policies.CLASSES.get(h.m.classIndex()).idempotency() == Idempotency.KEYED
                         && now
                                         - (h.m.deadline()
                                                 - Policies.CLASSES
                                                         .get(h.m.classIndex())
                                                         .deadlineNs())
-                                < 5_000 * Policies.MS;
+                                < 5_000 * Policies.MS);
     }
 
     private void expire(Held h) {
