Error Prone covers every package; the last of its warnings are mended

Cause: policy, core, fleet, app and handover were left out while they were rewritten; a link of IoLoop to a renamed method broke the build.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	mvn -B verify
 
 lint:
-	mvn -q -B test-compile
+	mvn -B test-compile
 
 # Formats all Java sources; mvn verify fails on a source that this would change.
 format:
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -307,15 +307,14 @@
     /** Answers an operator's FLEET command. */
     CommandResult answer(OperatorCommand.Fleet command) {
         LeaseGroup startedGroup = group;
-        LeaseRenewer startedRenewer = renewer;
-        if (startedGroup == null || startedRenewer == null) {
+        if (startedGroup == null || renewer == null) {
             return CommandResult.no("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
             return changeMembers(startedGroup, command.members());
         }
         try {
-            return new CommandResult(true, "fleet", status(startedGroup, startedRenewer));
+            return new CommandResult(true, "fleet", status(startedGroup));
         } catch (IOException e) {
             return CommandResult.no("the fleet's engine: " + e.getMessage());
         }
@@ -323,13 +322,13 @@
 
     private static CommandResult changeMembers(LeaseGroup group, Map<String, InetSocketAddress> members) {
         String names = String.join(" ", members.keySet());
-        group.changeMembers(members)
+        var unused = group.changeMembers(members)
                 .whenComplete((done, failure) -> System.err.println("fleet: members " + names
                         + (failure == null ? " agreed" : ": not agreed: " + failure.getMessage())));
         return CommandResult.yes("asked; FLEET tells when it is so");
     }
 
-    private List<String> status(LeaseGroup startedGroup, LeaseRenewer startedRenewer) throws IOException {
+    private List<String> status(LeaseGroup startedGroup) throws IOException {
         List<String> lines = new ArrayList<>();
         lines.add("self=" + startedGroup.holderId());
         lines.add("leader=" + leader);
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -45,7 +45,7 @@
         }
         String list = discovery.list();
         if (list.length() <= LeaseTable.MAX_VALUE_CHARS) {
-            leases.publish(LEASE, lease.get(), list);
+            var unused = leases.publish(LEASE, lease.get(), list);
         }
     }
 
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -72,7 +72,7 @@
         RecoveryProbeTask.Decision decision =
                 probe.decide(clock.now(), state, LeaseOwner.of(lease.isPresent(), leases.isHeldByAnother(leaseName)));
         if (decision.publishesRecovery()) {
-            leases.publish(leaseName, lease.orElseThrow(), RECOVERED);
+            var unused = leases.publish(leaseName, lease.orElseThrow(), RECOVERED);
         }
         leases.want(leaseName, decision.wantsLease());
         if (decision.defersProbe()) {
--- a/src/main/java/elderseam/app/VersionCommands.java
+++ b/src/main/java/elderseam/app/VersionCommands.java
@@ -91,7 +91,7 @@
 
     /** Reads the operator's file on a thread of the common pool. */
     private CommandResult proposeFile(OperatorCommand.Config command) {
-        CompletableFuture.runAsync(() -> readAndPropose(command));
+        var unused = CompletableFuture.runAsync(() -> readAndPropose(command));
         return asked(command.hash());
     }
 
@@ -119,7 +119,7 @@
         try {
             VersionTable.Command proposal = VersionTable.Command.propose(
                     member, parent, note, texts, group.memberNames().size(), boundMs, leadMs);
-            group.submit(proposal).whenComplete((outcome, failure) -> onProposed(hash, outcome, failure));
+            var unused = group.submit(proposal).whenComplete((outcome, failure) -> onProposed(hash, outcome, failure));
         } catch (IllegalArgumentException | IOException e) {
             refuse(hash, e.getMessage());
         }
--- a/src/main/java/elderseam/core/JsonValue.java
+++ b/src/main/java/elderseam/core/JsonValue.java
@@ -129,7 +129,7 @@
         try {
             return value instanceof String text ? Long.parseLong(text) : absent;
         } catch (NumberFormatException e) {
-            return (long) asDouble(absent);
+            return (long) asDouble((double) absent);
         }
     }
 
--- a/src/main/java/elderseam/fleet/config/VersionTable.java
+++ b/src/main/java/elderseam/fleet/config/VersionTable.java
@@ -259,7 +259,7 @@
 
     /** Whether the command is a retry of a proposal whose answer was lost. */
     private boolean isRepeated(Command command) {
-        return isProposalOf(command, latest()) || pending != null && isProposalOf(command, pending.version());
+        return isProposalOf(command, latest()) || (pending != null && isProposalOf(command, pending.version()));
     }
 
     private static boolean isProposalOf(Command command, ConfigurationVersion version) {
--- a/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
@@ -160,7 +160,7 @@
                 LeaseValidity held = validities.remove(lease);
                 if (held != null) {
                     listener.released(lease);
-                    group.release(lease, held.token());
+                    var unused = group.release(lease, held.token());
                 }
             }
         }
--- a/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
+++ b/src/main/java/elderseam/fleet/lease/RecoveryProbeTask.java
@@ -57,7 +57,7 @@
     private Decision decideWhileClosed(boolean holdsLease) {
         boolean publishes = inOutage && holdsLease;
         inOutage = false;
-        recoveryPublished = recoveryPublished && holdsLease || publishes;
+        recoveryPublished = (recoveryPublished && holdsLease) || publishes;
         halfOpenSinceNs = OptionalLong.empty();
         return new Decision(holdsLease && !recoveryPublished, false, publishes);
     }
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -21,7 +21,7 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * The one I/O thread, which owns everything, its timers and its buffers. Its tasks wait while it is {@link #late}: after
+ * The one I/O thread, which owns everything, its timers and its buffers. Its tasks wait while it is {@link #isStalled}: after
  * a pause XNIO runs each timer that has come due before it looks at a socket, and would so give up calls whose answers
  * lie there.
  */
--- a/src/main/java/elderseam/policy/CircuitBreaker.java
+++ b/src/main/java/elderseam/policy/CircuitBreaker.java
@@ -64,7 +64,7 @@
         boolean recovered = consecutiveFailures >= 2 && now - failuresSince > RollingWindow.BUCKET_NS;
         updateFailureRate(0);
         consecutiveFailures = 0;
-        if (isHalfOpen() && call == trial || !isClosed() && openedByHang) {
+        if ((isHalfOpen() && call == trial) || (!isClosed() && openedByHang)) {
             close(now);
         } else if (recovered && isClosed() && !rate.warmingUp) {
             rate.warmUp(now);
--- a/src/main/java/elderseam/policy/OutlierDetector.java
+++ b/src/main/java/elderseam/policy/OutlierDetector.java
@@ -50,7 +50,7 @@
         }
         boolean quickReset = result == AttemptResult.RESET
                 && outcome.latencyNs() < DEAD_CONNECTION_MULTIPLE * group.latency.expectedNs();
-        if (call.overdue && call.idleNs > 0 || quickReset && diedIdle(call)) {
+        if ((call.overdue && call.idleNs > 0) || (quickReset && diedIdle(call))) {
             return; // the connection's fault
         }
         if (result == AttemptResult.FULL) {
@@ -64,7 +64,7 @@
 
     private void onDelivered(AttemptRecord call, long latencyNs, long now) {
         context.answerLoss.onAnswer();
-        call.group.latency.delivered(call.start, latencyNs, now);
+        call.group.latency.delivered(call.start, (double) latencyNs, now);
         call.requests.forEach(request -> call.endpoint.clearFailures(request.message.requestClass()));
         call.group.rate.onSuccess();
         call.group.breaker.onSuccess(call, now);
@@ -135,7 +135,7 @@
         int hungCallsToTrip = losing ? HUNG_CALLS_TO_TRIP_WITH_LOSS : HUNG_CALLS_TO_TRIP;
         boolean silent = tickets.overdue >= hungCallsToTrip && now - group.latency.lastSuccessAt > limitNs;
         boolean trialHangs = breaker.trial != null && breaker.trial.overdue;
-        if (breaker.isClosed() && silent || breaker.isHalfOpen() && trialHangs) {
+        if ((breaker.isClosed() && silent) || (breaker.isHalfOpen() && trialHangs)) {
             breaker.onHang(tickets.overdue, now);
         }
     }
@@ -152,7 +152,7 @@
             context.decideAt((call.overdue ? hopelessAt : overdueAt) + 1);
         }
         boolean laterAnswered = call.group.latency.latestAnsweredStart > call.start;
-        boolean givenUp = call.hopeless || call.cancelled && context.answerLoss.isPresent();
+        boolean givenUp = call.hopeless || (call.cancelled && context.answerLoss.isPresent());
         if (laterAnswered && givenUp && !call.lost) {
             call.lost = true;
             context.answerLoss.onLostAnswer();
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -103,7 +103,7 @@
     /** A trial should risk little, then be worth much. */
     private static boolean isBetterTrial(PendingRequest request, PendingRequest than) {
         int risk = request.requestClass.idempotency().compareTo(than.requestClass.idempotency());
-        return risk < 0 || risk == 0 && request.priority > than.priority;
+        return risk < 0 || (risk == 0 && request.priority > than.priority);
     }
 
     private void scheduleTurn(EndpointGroup group, boolean requestsWait, long now) {
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -20,7 +20,7 @@
 
     /** Whether the request may be attempted at some endpoint: a keyed one only while the key is remembered. */
     static boolean mayAttempt(PendingRequest request, long now) {
-        return !request.mayHaveRun || request.isSafe() || request.isKeyed() && now < request.keyValidUntil;
+        return !request.mayHaveRun || request.isSafe() || (request.isKeyed() && now < request.keyValidUntil);
     }
 
     /** The same for an endpoint in {@code zone}: a key may be known in its own zone alone. */
@@ -103,8 +103,8 @@
         boolean lost =
                 group.latency.answeredCalls > call.answeredBefore + LATER_ANSWERS_THAT_SHOW_LOSS || call.idleNs > 0;
         boolean scarce = context.inFlight >= context.settings.slots()
-                || group.breaker.isClosed() && group.tickets.isExhausted() && requestsWait;
-        return lost && !unsafe || scarce && (!unsafe || context.answerLoss.isPresent() || call.hopeless);
+                || (group.breaker.isClosed() && group.tickets.isExhausted() && requestsWait);
+        return (lost && !unsafe) || (scarce && (!unsafe || context.answerLoss.isPresent() || call.hopeless));
     }
 
     private void cancel(AttemptRecord call) {
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -14,7 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@channel Recorded}. */
+/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
 public final class OlderProcess {
     public static final String LEARNED = "learned/file.hex";
     static final String JOURNAL = "handover/journal.hex",
@@ -41,7 +41,7 @@
                 process.list(LIST.formatted("SERVING"));
                 take(4, 1);
             }
-            process.pass(20 * Clock.MS + i * 100_000);
+            process.pass(20 * Clock.MS + i * 100_000L);
             answerAll(CoreProcess.DELIVERED);
             process.pass(150 * Clock.MS);
         }
--- a/src/test/java/elderseam/compat/RecordedBytes.java
+++ b/src/test/java/elderseam/compat/RecordedBytes.java
@@ -1,6 +1,7 @@
 package elderseam.compat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -45,7 +46,9 @@
 
     /** The recorded lines of a resource; {@code written} is recorded where it is missing. */
     public static List<String> lines(String name, List<String> written) throws IOException {
-        return new String(bytes(name, (String.join("\n", written) + "\n").getBytes("UTF-8")), "UTF-8")
+        return new String(
+                        bytes(name, (String.join("\n", written) + "\n").getBytes(StandardCharsets.UTF_8)),
+                        StandardCharsets.UTF_8)
                 .lines()
                 .toList();
     }
--- a/src/test/java/elderseam/core/RecoveryScheduleTest.java
+++ b/src/test/java/elderseam/core/RecoveryScheduleTest.java
@@ -64,7 +64,7 @@
     void mostUrgentFirstAndEachOnce() {
         List<ActiveRequest> unfinished = new ArrayList<>();
         for (int i = 0; i < 700; i++) {
-            unfinished.add(request("m" + i, i % 3, NOW + (i - 300) * 10 * Clock.MS, i % 7 == 0, NOW));
+            unfinished.add(request("m" + i, i % 3, NOW + (i - 300) * 10L * Clock.MS, i % 7 == 0, NOW));
         }
         Collections.shuffle(unfinished, new Random(1));
         RecoverySchedule schedule = new RecoverySchedule(unfinished, CLASSES, 40, NOW);
--- a/src/test/java/elderseam/core/StallDetectorTest.java
+++ b/src/test/java/elderseam/core/StallDetectorTest.java
@@ -15,7 +15,7 @@
     void aHeartbeatInTimeOrALittleLateIsNoStall() {
         long now = START;
         for (int i = 0; i < 100; i++) {
-            now = detector.heartbeat(now) + (i % 5) * 10 * Clock.MS;
+            now = detector.heartbeat(now) + (i % 5) * 10L * Clock.MS;
             assertFalse(detector.isStalled(now));
         }
         assertEquals(0, detector.endStall());
--- a/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.compat.RecordedBytes;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -76,9 +77,9 @@
         if (RecordedBytes.missing("version/proposal")) {
             RecordedBytes.bytes(
                     "version/proposal/proposal.ini",
-                    SECOND.texts().get(VersionContent.SETTINGS).getBytes("UTF-8"));
+                    SECOND.texts().get(VersionContent.SETTINGS).getBytes(StandardCharsets.UTF_8));
             RecordedBytes.bytes(
-                    "version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes("UTF-8"));
+                    "version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes(StandardCharsets.UTF_8));
         }
         assertEquals(SECOND.texts(), VersionContent.read(file));
         assertEquals(SECOND.hash(), ConfigurationVersion.hash(VersionContent.read(file)));
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -42,7 +43,7 @@
 
     private void allocateAddresses(String... names) throws IOException {
         for (String name : names) {
-            addresses.put(name, new InetSocketAddress("127.0.0.1", freePort()));
+            addresses.put(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort()));
         }
     }
 
--- a/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -7,6 +7,7 @@
 import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionTable;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -34,7 +35,7 @@
     private LeaseGroup start(Path at, String incarnation) throws IOException {
         InetSocketAddress address;
         try (ServerSocket s = new ServerSocket(0)) {
-            address = new InetSocketAddress("127.0.0.1", s.getLocalPort());
+            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), s.getLocalPort());
         }
         LeaseStateMachine.Listener listener = new LeaseStateMachine.Listener() {
             @Override
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -298,7 +298,7 @@
         assertFalse(
                 s.maybeRan
                         && (s.cls.idempotency() == Idempotency.UNSAFE
-                                || s.cls.idempotency() == Idempotency.KEYED && s.cls.keyPerZone()),
+                                || (s.cls.idempotency() == Idempotency.KEYED && s.cls.keyPerZone())),
                 "refused though it may have run");
         end(s, "refused");
     }
--- a/src/test/java/elderseam/policy/PropertyTest.java
+++ b/src/test/java/elderseam/policy/PropertyTest.java
@@ -135,7 +135,7 @@
                     new ListedEndpoint("b:1", 2, 0, 0, EndpointStatus.READY, 8));
         }
         int onReturn = 0;
-        int done = 0;
+        long done = 0;
         for (int step = 0; step < 600; step++) { // 30 s: down from 5 s to 15 s, then cold at a quarter
             boolean down = step >= 100 && step < 300;
             int room = random.nextInt(2);
--- a/src/test/java/elderseam/policy/RulesTest.java
+++ b/src/test/java/elderseam/policy/RulesTest.java
@@ -168,7 +168,7 @@
                 PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY),
                 PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
         for (int i = 0; i < 40; i++) {
-            String id = harness.submit(2, -1, 1);
+            harness.submit(2, -1, 1);
             harness.pass(20 * MS);
             for (PolicyTestHarness.Attempt a : harness.out()) {
                 harness.answer(
--- a/src/test/java/elderseam/scenario/ControlTest.java
+++ b/src/test/java/elderseam/scenario/ControlTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,7 +27,9 @@
             String[] at = s.front('o').split(":");
             for (int i = 0; i < 60; i++) { // more than may be open
                 stalled.add(new Socket(at[0], Integer.parseInt(at[1])));
-                stalled.get(i).getOutputStream().write(i % 2 == 0 ? "DETA".getBytes() : new byte[0]);
+                stalled.get(i)
+                        .getOutputStream()
+                        .write(i % 2 == 0 ? "DETA".getBytes(StandardCharsets.US_ASCII) : new byte[0]);
             }
             s.run("""
                     operator ask PING -> 200
--- a/src/test/java/elderseam/scenario/DeploymentSettingsTest.java
+++ b/src/test/java/elderseam/scenario/DeploymentSettingsTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -192,7 +193,7 @@
                 "src/main", "deploy/balancer.toml", "deploy/serve.sh", "deploy/elderseam.ini", "deploy/scenarios")) {
             try (Stream<Path> files = Files.walk(Path.of(root))) {
                 for (Path f : files.filter(Files::isRegularFile).toList()) {
-                    String text = Files.readString(f).toLowerCase();
+                    String text = Files.readString(f).toLowerCase(Locale.ROOT);
                     for (String name : List.of(
                             "rent-payment",
                             "job-order",
--- a/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
+++ b/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -162,7 +163,7 @@
                     head.append((char) late.getInputStream().read());
                 }
                 assertTrue(head.indexOf("X-Txn: pay") > 0, head.toString());
-                late.getOutputStream().write(RawHttpSocket.answer(200, "", "").getBytes());
+                late.getOutputStream().write(RawHttpSocket.answer(200, "", "").getBytes(StandardCharsets.US_ASCII));
                 s.run("operator wait INFO -> rent-payment.success=1\n");
             }
         }
--- a/src/test/java/elderseam/scenario/GossipTest.java
+++ b/src/test/java/elderseam/scenario/GossipTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -83,7 +84,7 @@
                         settings.toString())
                 .redirectErrorStream(true)
                 .start();
-        String words = new String(p.getInputStream().readAllBytes()).strip();
+        String words = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
         assertTrue(p.waitFor(20, TimeUnit.SECONDS));
         assertEquals(1, p.exitValue());
         return words.replace(folder + "/", "");
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -11,12 +11,14 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +27,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
@@ -76,7 +79,7 @@
     private ServerSocket platform;
     private volatile long answered = System.nanoTime();
     private final long diskMb;
-    private volatile int deaf;
+    private final AtomicInteger rejectedNotifications = new AtomicInteger();
     private Process program, older;
     private String address = "127.0.0.1:0";
     private final Map<Character, CompletableFuture<String>> fronts = new ConcurrentHashMap<>();
@@ -326,7 +329,7 @@
     private void platform(String verb, String words) throws Exception {
         switch (verb) {
             case "send" -> news.add(words);
-            case "deaf" -> deaf = Integer.parseInt(words);
+            case "deaf" -> rejectedNotifications.set(Integer.parseInt(words));
             case "indent" -> indented = true;
             case "linked" -> assertEquals(Integer.parseInt(words), platformLinks.size(), "connections");
             case "close" -> {
@@ -465,7 +468,7 @@
 
     /** The deployment's settings unless told otherwise. */
     static String settings() throws IOException {
-        return new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes());
+        return new String(Scenario.class.getResourceAsStream("/settings.json").readAllBytes(), StandardCharsets.UTF_8);
     }
 
     /** The next starts are of a deployment with these settings. */
@@ -526,7 +529,7 @@
         assertNotNull(message, "nothing came");
         for (String part : parts.split(";")) {
             assertTrue(
-                    message.toLowerCase().contains(part.strip().toLowerCase()),
+                    message.toLowerCase(Locale.ROOT).contains(part.strip().toLowerCase(Locale.ROOT)),
                     "no '" + part.strip() + "' in " + message);
         }
     }
@@ -569,7 +572,7 @@
                     }
                 }
                 if (message.startsWith("POST /status")) {
-                    if (deaf-- > 0) {
+                    if (rejectedNotifications.getAndDecrement() > 0) {
                         link.write(RawHttpSocket.answer(503, "", ""));
                         return;
                     }
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -125,7 +125,7 @@
                         journal.attemptEnded(id, i % 5 == 3);
                     }
                 }
-                if (due || i % 3 == 2 && i % 5 > 1 && i % 5 < 4) {
+                if (due || (i % 3 == 2 && i % 5 > 1 && i % 5 < 4)) {
                     over.add(id);
                 }
             }
