Tests: ReloadTest runs alone, with the limits that it had

Cause: discoveryMoves failed in the whole verify of (next watch after 6,491 ms, 3,800 allowed): beside three other classes a dispatcher took 6.4 s to readiness and its I/O thread was away for 1.6 s at a time. Alone, on the same build, the class passed twice of twice. Change: @Isolated, as OverloadTest has it; no limit and no assertion is touched.

--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -6,10 +6,13 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A new configuration under load: SIGHUP. Without a handler the process ends. */
+@Isolated(
+        "its limits are of one dispatcher: starts of other classes' processes beside it stall the I/O thread for seconds")
 class ReloadTest {
     private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m;";
 
