A lease's answer that arrives after the renewer was stopped takes no effect

Cause: LeaseRenewer.send did not look at stopped after the group's answer, so a renewal in flight put a validity back after its release (seen once in LeasedCertificateOrderTest). Change: answer and stop take one lock. LeaseGroupTest lists a folder again where the engine removed a file meanwhile; its counts are as before. Result: LeaseGroupTest with the new case green; the case was not seen failing without the mend, for want of time.

--- a/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRenewer.java
@@ -54,6 +54,10 @@
     private final Set<String> wanted = ConcurrentHashMap.newKeySet();
     private final Set<String> releasedByOthers = ConcurrentHashMap.newKeySet();
     private final Thread thread;
+
+    /** Held while the renewer is stopped, and while an answer takes effect, so that none does after the stop. */
+    private final Object stopLock = new Object();
+
     private volatile boolean stopped;
 
     /**
@@ -112,6 +116,11 @@
         LockSupport.unpark(thread);
     }
 
+    /** Waits for the renewer's thread to end, for tests. */
+    void awaitEnd() throws InterruptedException {
+        thread.join();
+    }
+
     private void run() {
         while (!stopped) {
             addNewlyWanted();
@@ -181,6 +190,14 @@
             stopped = true;
             return;
         }
+        synchronized (stopLock) {
+            if (!stopped) {
+                onAnswer(lease, schedule, sentNs, outcome);
+            }
+        }
+    }
+
+    private void onAnswer(String lease, LeaseRequestSchedule schedule, long sentNs, LeaseTable.Outcome outcome) {
         schedule.onAnswer(sentNs, clock.getAsLong(), outcome);
         publishState(lease, schedule);
         if (outcome.granted()) {
@@ -207,12 +224,18 @@
         schedule.validity().ifPresentOrElse(held -> validities.put(lease, held), () -> validities.remove(lease));
     }
 
-    /** Stops acting on any lease and gives back those held; completes once the group has confirmed all of that. */
+    /**
+     * Stops acting on any lease and gives back those held; completes once the group has confirmed all of that. An answer
+     * that arrives later changes nothing: by then another member may have the lease.
+     */
     public CompletableFuture<Void> releaseAllAndStop() {
-        stopped = true;
-        Map<String, LeaseValidity> held = Map.copyOf(validities);
-        validities.clear();
-        held.keySet().forEach(listener::released);
+        Map<String, LeaseValidity> held;
+        synchronized (stopLock) {
+            stopped = true;
+            held = Map.copyOf(validities);
+            validities.clear();
+            held.keySet().forEach(listener::released);
+        }
         LockSupport.unpark(thread);
         CompletableFuture<?>[] releases = held.entrySet().stream()
                 .map(entry -> group.release(entry.getKey(), entry.getValue().token()))
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -1,17 +1,24 @@
 package elderseam.fleet.lease;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.fleet.ClockDriftBound;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -76,9 +83,13 @@
     }
 
     private long countFiles(String member, String nameRegex) throws IOException {
-        try (Stream<Path> files = Files.walk(directory.resolve(member))) {
-            return files.filter(file -> file.getFileName().toString().matches(nameRegex))
-                    .count();
+        while (true) {
+            try (Stream<Path> files = Files.walk(directory.resolve(member))) {
+                return files.filter(file -> file.getFileName().toString().matches(nameRegex))
+                        .count();
+            } catch (UncheckedIOException e) { // the engine removed a temporary file since it was listed
+                assertInstanceOf(NoSuchFileException.class, e.getCause());
+            }
         }
     }
 
@@ -99,6 +110,48 @@
         members.get(member).release(LEASE, token).get(ANSWER_TIMEOUT_S, TimeUnit.SECONDS);
     }
 
+    /** A grant that arrives after the renewer was stopped gives no validity: another member may have the lease by then. */
+    @Test
+    void aGrantAfterTheStopIsIgnored() throws Exception {
+        allocateAddresses("a");
+        start("a", LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
+        release("a", acquire("a").token());
+        CompletableFuture<LeaseRenewer> started = new CompletableFuture<>();
+        List<String> grants = new CopyOnWriteArrayList<>();
+        LeaseRenewer.Listener stopping = new LeaseRenewer.Listener() {
+            @Override
+            public void requested(String lease, LeaseTable.Operation operation, long token) {
+                started.join().releaseAllAndStop().join();
+            }
+
+            @Override
+            public void granted(String lease, LeaseValidity validity) {
+                grants.add(lease);
+            }
+
+            @Override
+            public void refused(String lease, LeaseTable.Outcome outcome) {}
+
+            @Override
+            public void unanswered(String lease) {}
+
+            @Override
+            public void released(String lease) {}
+        };
+        LeaseRenewer renewer = new LeaseRenewer(
+                members.get("a"),
+                List.of(LEASE),
+                TTL_MS,
+                new ClockDriftBound(0.01),
+                new SplittableRandom(1),
+                System::nanoTime,
+                stopping);
+        started.complete(renewer);
+        renewer.awaitEnd();
+        assertEquals(List.of(), grants);
+        assertTrue(renewer.validity(LEASE).isEmpty());
+    }
+
     /** The table outlives its log: after snapshots, on a member that joins when the log's start is gone, after a restart. */
     @Test
     void tokensKeepIncreasingFromSnapshots() throws Exception {
