--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -101,7 +101,7 @@
     }
 
     /** Its journal when it passed its work on, the file of what it had learned, and what travels both ways. */
-    public static void recordIfWanted() throws IOException {
+    public static synchronized void recordIfWanted() throws IOException {
         if (!Recorded.wanted(LEARNED)) {
             return;
         }
--- a/src/test/java/elderseam/compat/Recorded.java
+++ b/src/test/java/elderseam/compat/Recorded.java
@@ -5,18 +5,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 
 /**
- * What an earlier build stored or sent, kept as test resources: a line of hexadecimal for each record, or plain text. Tests read it and
- * write the same again. With {@code -Dcompat.record=true} a resource that is missing is written instead; one that exists is never
- * replaced, so a change of the format can't be recorded by accident.
+ * Recorded resources ({@link RecordedBytes}) that hold a line of hexadecimal for each record, or plain lines: readers, and assertions
+ * that the same is written again.
  */
 public final class Recorded {
-    private static final Path FOLDER = Path.of("src/test/resources/compat");
     private static final HexFormat HEX = HexFormat.of();
     private static final int LINE = 64; // bytes, where a resource is one piece
 
@@ -24,11 +21,11 @@
 
     /** Whether that resource is to be recorded in this run. */
     public static boolean wanted(String name) {
-        return Boolean.getBoolean("compat.record") && !Files.exists(FOLDER.resolve(name));
+        return RecordedBytes.missing(name);
     }
 
     public static List<String> lines(String name) throws IOException {
-        return Files.readAllLines(FOLDER.resolve(name));
+        return Files.readAllLines(RecordedBytes.path(name));
     }
 
     /** The records of a resource, each without its line's end. */
@@ -49,11 +46,7 @@
 
     /** These lines are those of the resource. */
     public static void assertLines(String name, List<String> lines) throws IOException {
-        if (wanted(name)) {
-            Files.createDirectories(FOLDER.resolve(name).getParent());
-            Files.write(FOLDER.resolve(name), lines);
-        }
-        assertEquals(String.join("\n", lines(name)), String.join("\n", lines), name);
+        assertEquals(String.join("\n", RecordedBytes.lines(name, lines)), String.join("\n", lines), name);
     }
 
     /** These records, each of which has a line, are those of the resource. */
