--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -73,8 +73,8 @@
 
     private void updateTestLease(GossipOnlyLease lease) {
         if (!left) {
-            lease.look(others(), io.clock.wallMs());
-            io.at(io.clock.now() + GossipOnlyLease.LOOK_NS / 2, () -> updateTestLease(lease));
+            lease.observe(others(), io.clock.wallMs());
+            io.at(io.clock.now() + GossipOnlyLease.VIEW_VALID_NS / 2, () -> updateTestLease(lease));
         }
     }
 
--- a/src/main/java/elderseam/fleet/selftest/LeaseWorkload.java
+++ b/src/main/java/elderseam/fleet/selftest/LeaseWorkload.java
@@ -1,6 +1,5 @@
 package elderseam.fleet.selftest;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.fleet.lease.LeaseValidity;
 import java.io.BufferedReader;
@@ -17,114 +16,132 @@
 import java.util.function.LongSupplier;
 
 /**
- * A rehearsal's acts, inside the program: while its tenure surely holds it acts on the store again and again, each time with
- * its token. An act is some work and then one line to the store; a stall that falls between the look at the tenure and that
- * line makes the late act which only the store's fence can refuse.
+ * The workload of a fault test inside the program: while this member holds a lease, it writes to a store again and
+ * again, each time with its fencing token. An operation is some work and then one line to the store. A stall of the
+ * process between the check of the lease and that line makes the late write that only the store's check of the token
+ * can reject.
+ *
+ * <p>Runs on a daemon thread of its own, which is the only one that uses the socket.
  */
 public final class LeaseWorkload {
+    private static final int NANOS_PER_MILLI = 1_000_000;
+
     private final ObjectMapper json = new ObjectMapper();
     private final InetSocketAddress store;
     private final String holder;
-    private final Function<String, Optional<LeaseValidity>> tenure;
+    private final Function<String, Optional<LeaseValidity>> validity;
     private final long workNs;
     private final LongSupplier clock;
     private final FaultTestHistory history;
     private Socket socket;
-    private BufferedReader answers;
-    private long acts;
+    private BufferedReader responses;
+    private long operations;
 
-    /** {@code clock}: the member's monotonic nanoseconds, as its tenures are counted in. */
+    /**
+     * Starts the thread.
+     *
+     * @param store where the store listens
+     * @param holder this process as a lease holder
+     * @param leases the names of the leases to work under
+     * @param validity the validity of a lease by its name, empty while this member does not hold it; thread-safe
+     * @param workNs how long the work of an operation takes, in nanoseconds
+     * @param clock the member's monotonic clock in nanoseconds, which validities refer to
+     * @param history receives each operation's beginning and outcome
+     */
     public LeaseWorkload(
             InetSocketAddress store,
             String holder,
             List<String> leases,
-            Function<String, Optional<LeaseValidity>> tenure,
+            Function<String, Optional<LeaseValidity>> validity,
             long workNs,
             LongSupplier clock,
             FaultTestHistory history) {
         this.store = store;
         this.holder = holder;
-        this.tenure = tenure;
+        this.validity = validity;
         this.workNs = workNs;
         this.clock = clock;
         this.history = history;
-        Thread thread = new Thread(() -> run(leases), "rehearsed-acts");
+        Thread thread = new Thread(() -> run(leases), "lease-workload");
         thread.setDaemon(true);
         thread.start();
     }
 
     private void run(List<String> leases) {
         while (true) {
-            boolean acted = false;
+            boolean idle = true;
             for (String lease : leases) {
-                LeaseValidity t = tenure.apply(lease).orElse(null);
+                LeaseValidity valid = validity.apply(lease).orElse(null);
                 long now = clock.getAsLong();
-                if (t != null && t.mayAct(now, now + 2 * workNs)) { // the work, and as long again for the store
-                    act(lease, t);
-                    acted = true;
+                long expectedEnd = now + 2 * workNs; // the work, and as long again for the store
+                if (valid != null && valid.mayAct(now, expectedEnd)) {
+                    operate(lease, valid);
+                    idle = false;
                 }
             }
-            if (!acted) {
+            if (idle) {
                 LockSupport.parkNanos(workNs / 2);
             }
         }
     }
 
-    private void act(String lease, LeaseValidity t) {
-        long n = ++acts;
-        history.event("act")
-                .with("lease", lease)
-                .with("holder", holder)
-                .with("token", t.token())
-                .with("n", n)
-                .append();
+    private void operate(String lease, LeaseValidity valid) {
+        long number = ++operations;
+        operationEvent("act", lease, valid, number).append();
         LockSupport.parkNanos(workNs);
         try {
-            if (socket == null) {
-                socket = new Socket();
-                socket.connect(store, left(t));
-                answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-            }
-            socket.setSoTimeout(left(t));
-            byte[] line = (json.writeValueAsString(Map.of("lease", lease, "holder", holder, "token", t.token(), "n", n))
-                            + "\n")
-                    .getBytes(StandardCharsets.UTF_8);
-            socket.getOutputStream().write(line);
-            String answer = answers.readLine();
-            if (answer == null) {
-                throw new IOException("the store ended the connection");
-            }
-            JsonNode said = json.readTree(answer);
-            history.event(said.get("admitted").asBoolean() ? "done" : "fenced")
-                    .with("lease", lease)
-                    .with("holder", holder)
-                    .with("token", t.token())
-                    .with("n", n)
-                    .append();
-        } catch (IOException e) { // whether it took effect is not known
-            history.event("unsure")
-                    .with("lease", lease)
-                    .with("holder", holder)
-                    .with("token", t.token())
-                    .with("n", n)
+            boolean admitted = write(lease, valid, number);
+            operationEvent(admitted ? "done" : "fenced", lease, valid, number).append();
+        } catch (IOException e) { // whether the write took effect is unknown
+            operationEvent("unsure", lease, valid, number)
                     .with("why", String.valueOf(e.getMessage()))
                     .append();
-            drop();
+            disconnect();
+        }
+    }
+
+    private FaultTestHistory.Event operationEvent(String type, String lease, LeaseValidity valid, long number) {
+        return history.event(type)
+                .with("lease", lease)
+                .with("holder", holder)
+                .with("token", valid.token())
+                .with("n", number);
+    }
+
+    /** Sends one write to the store; whether the store admitted its token. */
+    private boolean write(String lease, LeaseValidity valid, long number) throws IOException {
+        if (socket == null) {
+            connect(valid);
+        }
+        socket.setSoTimeout(remainingMs(valid));
+        String request =
+                json.writeValueAsString(Map.of("lease", lease, "holder", holder, "token", valid.token(), "n", number));
+        socket.getOutputStream().write((request + "\n").getBytes(StandardCharsets.UTF_8));
+        String response = responses.readLine();
+        if (response == null) {
+            throw new IOException("the store ended the connection");
         }
+        return json.readTree(response).get("admitted").asBoolean();
+    }
+
+    private void connect(LeaseValidity valid) throws IOException {
+        socket = new Socket();
+        socket.connect(store, remainingMs(valid));
+        responses = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
     }
 
-    /** Milliseconds of the tenure that are left, at least one: a socket knows no deadline. */
-    private int left(LeaseValidity t) {
-        return (int) Math.max(1, (t.expiresAtNs() - clock.getAsLong()) / 1_000_000);
+    /** Milliseconds until the lease expires, at least 1: a socket takes 0 for no timeout at all. */
+    private int remainingMs(LeaseValidity valid) {
+        return (int) Math.max(1, (valid.expiresAtNs() - clock.getAsLong()) / NANOS_PER_MILLI);
     }
 
-    private void drop() {
+    private void disconnect() {
         try {
             if (socket != null) {
                 socket.close();
             }
         } catch (IOException e) {
-            // it is given up in any case
+            // the connection is given up in any case
         }
         socket = null;
     }
