--- a/src/main/java/elderseam/policy/AnswerLoss.java
+++ b/src/main/java/elderseam/policy/AnswerLoss.java
@@ -1,16 +1,18 @@
 package elderseam.policy;
 
-/** Estimates whether the network loses answers, over all destinations: a rolling window of answers. Not thread-safe. */
+/** Counts the answers that come and those that are lost, over all destinations, in a rolling window. Not thread-safe. */
 final class AnswerLoss {
-    private static final double MIN_LOST_SHARE = 0.05;
-    private static final double MIN_LOST_ANSWERS = 3;
-
     private final RollingWindow window = new RollingWindow();
     /** Whether answers are getting lost at present, as of the last turn. */
-    private boolean present;
+    boolean present;
+
+    /** Answers in the window, lost ones among them. */
+    int answers() {
+        return window.calls();
+    }
 
-    boolean isPresent() {
-        return present;
+    int lostAnswers() {
+        return window.failures();
     }
 
     void onAnswer() {
@@ -25,12 +27,6 @@
         window.roll(now);
     }
 
-    /** Takes the estimate anew, once a turn. */
-    void measure(long now) {
-        window.roll(now);
-        present = window.failures() >= MIN_LOST_ANSWERS && window.failures() >= MIN_LOST_SHARE * window.calls();
-    }
-
     void transfer(SnapshotCursor snapshot) {
         window.transfer(snapshot);
     }
--- a/src/main/java/elderseam/policy/CircuitBreaker.java
+++ b/src/main/java/elderseam/policy/CircuitBreaker.java
@@ -80,7 +80,8 @@
     void onFailure(boolean cancelled, long now) {
         updateFailureRate(1);
         if (failureRateEwma >= FAILURE_SHARE_TO_TRIP && rate.estimate.isCrowded() && isClosed()) {
-            rate.warmUpFromZero(now);
+            rate.warmUp(now);
+            rate.tokens = 0; // without a call to begin with
         }
         failuresSince = consecutiveFailures == 0 ? now : failuresSince;
         consecutiveFailures += cancelled ? 0 : 1;
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -32,14 +32,14 @@
     public DispatchPolicy(PolicySettings settings, long seed, PolicyActions actions) {
         context = new PolicyContext(settings, seed, actions);
         directory = new EndpointDirectory(context);
-        requests = new RequestTable(context);
+        requests = context.requests;
         quotas = new TenantQuotas(settings);
         subscription = new EndpointListSubscription(context);
         connections = new IdleConnectionPolicy(context, directory.endpoints.values());
         outliers = new OutlierDetector(context, connections);
         retryPolicy = new RetryPolicy(context);
-        loadShedder = new LoadShedder(context, requests);
-        scheduler = new RequestScheduler(context, requests, loadShedder, retryPolicy, connections);
+        loadShedder = new LoadShedder(context);
+        scheduler = new RequestScheduler(context, loadShedder, retryPolicy, connections);
     }
 
     private void advance(long now) {
@@ -67,7 +67,7 @@
     @Override
     public boolean serves(long now, long destination) {
         advance(now);
-        return directory.isKnown(destination);
+        return LoadShedder.mayAccept(directory.destinations.get(destination), context);
     }
 
     @Override
@@ -101,7 +101,7 @@
         PendingRequest request = requests.get(id);
         AttemptRecord call = new AttemptRecord(directory.endpoints.get(endpoint), start, context.turn);
         call.pending = 1;
-        call.group.tickets.adopt(call);
+        call.group.tickets.hold(call);
         requests.attach(request, call, request.attempts - 1);
     }
 
@@ -144,9 +144,6 @@
             return;
         }
         retryPolicy.scheduleRetry(request, outcome, now);
-        if (request.inFlight.isEmpty()) {
-            requests.await(request);
-        }
     }
 
     @Override
@@ -173,9 +170,7 @@
 
     @Override
     public boolean mayStart(long now, String id, String address) {
-        EndpointState endpoint = directory.endpoints.get(address);
-        PendingRequest request = requests.get(id);
-        return endpoint != null && request != null && RetryPolicy.mayStillAttempt(request, endpoint, now);
+        return RetryPolicy.mayStillAttempt(requests.get(id), directory.endpoints.get(address), now);
     }
 
     @Override
@@ -236,7 +231,8 @@
         if (context.latency.measure(now)) {
             requests.forgetRestedKeys();
         }
-        context.answerLoss.measure(now);
+        context.answerLoss.roll(now);
+        outliers.checkAnswerLoss();
         requests.active.forEach(destination -> tick(destination, now));
         requests.active.removeIf(destination -> !destination.active);
         loadShedder.shed(now);
@@ -261,9 +257,7 @@
             group.rate.refill(now);
             group.breaker.tick(now);
             outliers.checkOverdue(group, now);
-            if (context.settings.mayCancel()) {
-                retryPolicy.cancelOverdue(group, requestsWait, now);
-            }
+            retryPolicy.cancelOverdue(group, requestsWait, now);
             inFlight |= !group.tickets.inFlight.isEmpty();
         }
         loadShedder.expire(destination, now);
--- a/src/main/java/elderseam/policy/EndpointDirectory.java
+++ b/src/main/java/elderseam/policy/EndpointDirectory.java
@@ -10,8 +10,6 @@
 /** The endpoints as listed and their destinations. Bookkeeping only; confined to the policy's thread. */
 final class EndpointDirectory {
     private final PolicyContext context;
-    /** How long a request may be held at most. */
-    private final long longestDeadlineNs;
     /** By address, in the order in which they were listed first. */
     final Map<String, EndpointState> endpoints = new LinkedHashMap<>();
 
@@ -23,10 +21,6 @@
 
     EndpointDirectory(PolicyContext context) {
         this.context = context;
-        this.longestDeadlineNs = context.settings.classes().stream()
-                .mapToLong(requestClass -> requestClass.deadlineNs())
-                .max()
-                .orElse(0);
     }
 
     /** Takes in an update that was received; {@code complete}: what it does not name is no longer listed. */
@@ -42,7 +36,7 @@
                 .forEach(this::remove);
         empty.removeIf(destination -> !destination.endpoints.isEmpty());
         empty.stream()
-                .filter(destination -> !destination.active && !mayHoldRequests(destination))
+                .filter(destination -> !destination.active && !LoadShedder.mayAccept(destination, context))
                 .forEach(destination -> destinations.remove(destination.id));
         empty.removeIf(destination -> !destinations.containsKey(destination.id));
     }
@@ -74,7 +68,7 @@
                 destination,
                 group(destination, entry.address()),
                 context.settings.classes().size());
-        endpoint.bias = context.random.nextDouble();
+        endpoint.bias = EndpointSelector.drawPreference(context);
         endpoint.outsideSubset = !preferred.test(endpoint.address);
         destination.endpoints.add(endpoint);
         endpoints.put(endpoint.address, endpoint);
@@ -112,16 +106,6 @@
                 id, key -> new DestinationState(key, context.settings.kinds().get(0), context.now));
     }
 
-    /** Whether the destination has an endpoint, or had one so lately that requests for it may still be held. */
-    boolean isKnown(long id) {
-        DestinationState destination = destinations.get(id);
-        return destination != null && (!destination.endpoints.isEmpty() || mayHoldRequests(destination));
-    }
-
-    private boolean mayHoldRequests(DestinationState destination) {
-        return context.now - destination.emptySince <= longestDeadlineNs;
-    }
-
     /** Sets this sender's subset, by address. */
     void prefer(Predicate<String> subset) {
         preferred = subset;
--- a/src/main/java/elderseam/policy/EndpointSelector.java
+++ b/src/main/java/elderseam/policy/EndpointSelector.java
@@ -26,6 +26,11 @@
         this.context = context;
     }
 
+    /** This sender's own preference for an endpoint, drawn when it is added: so senders spread over equal ones. */
+    static double drawPreference(PolicyContext context) {
+        return context.random.nextDouble();
+    }
+
     /**
      * Takes in what the list says of an endpoint. What is ready again after it was not may have been restarted: it
      * counts as cold, and so does its group where no other endpoint of the destination is ready.
--- a/src/main/java/elderseam/policy/LatencyTracker.java
+++ b/src/main/java/elderseam/policy/LatencyTracker.java
@@ -34,9 +34,9 @@
         return baselineLatencyNs > 0 ? baselineLatencyNs : network.baselineLatencyNs;
     }
 
-    /** Whether recent calls took {@code multiple} times the baseline, beyond what slows the whole network. */
-    boolean slowerThan(double multiple) {
-        return recentLatencyNs > multiple * network.slowdown * expectedNs();
+    /** Baseline latency in nanoseconds, or the recent mean where that is higher. */
+    double currentNs() {
+        return Math.max(expectedNs(), recentLatencyNs);
     }
 
     /** A call that began at {@code start} was delivered after {@code latencyNs}. */
--- a/src/main/java/elderseam/policy/LoadShedder.java
+++ b/src/main/java/elderseam/policy/LoadShedder.java
@@ -16,11 +16,16 @@
     private static final double BROKEN_PROMISE_TIME = 0.3; // while more than this part of its time is left
 
     private final PolicyContext context;
-    private final RequestTable requests;
 
-    LoadShedder(PolicyContext context, RequestTable requests) {
+    LoadShedder(PolicyContext context) {
         this.context = context;
-        this.requests = requests;
+    }
+
+    /** Whether requests for a destination (null: unknown) may be accepted: it has an endpoint, or had one of late. */
+    static boolean mayAccept(DestinationState destination, PolicyContext context) {
+        return destination != null
+                && (!destination.endpoints.isEmpty()
+                        || context.now - destination.emptySince <= context.longestDeadlineNs);
     }
 
     /** The weight of a request that arrives: less beyond its tenant's quota. */
@@ -53,7 +58,7 @@
         } else {
             context.actions.fail(request.message.id());
         }
-        requests.finish(request);
+        context.requests.finish(request);
     }
 
     /** When the destination may have a ticket again, as far as it can be told. */
@@ -72,7 +77,7 @@
      */
     void shed(long now) {
         int reserve = Math.max(1, context.settings.maxHeld() / RESERVE_DIVISOR);
-        while (requests.unfinished > context.settings.maxHeld() - reserve) {
+        while (context.requests.unfinished > context.settings.maxHeld() - reserve) {
             DestinationState from = overloadedDestination();
             if (from == null || from.waiting.isEmpty()) {
                 return;
@@ -85,11 +90,11 @@
     }
 
     private DestinationState overloadedDestination() {
-        PendingRequest newest = requests.newest;
+        PendingRequest newest = context.requests.newest;
         if (newest != null && newest.firstTurn == context.turn && newest.waitsWithOthers()) {
             return newest.destination;
         }
-        return requests.active.stream()
+        return context.requests.active.stream()
                 .max(Comparator.comparingInt(destination -> destination.waiting.size()))
                 .orElse(null);
     }
@@ -97,11 +102,9 @@
     /** What is lost by waiting, for each nanosecond of a slot; {@code costOfGivingUp} comes on top. */
     double priority(PendingRequest request, long now, double costOfGivingUp) {
         List<EndpointGroup> groups = request.destination.groups;
-        double latencyNs = context.latency.baselineLatencyNs;
-        if (!groups.isEmpty()) {
-            LatencyTracker latency = groups.get(0).latency;
-            latencyNs = Math.max(latency.expectedNs(), latency.recentLatencyNs);
-        }
+        double latencyNs = groups.isEmpty()
+                ? context.latency.baselineLatencyNs
+                : groups.get(0).latency.currentNs();
         long done = now + (long) latencyNs;
         double later = request.worthAt(done + request.requestClass.latencyObjectiveNs(), context.settings);
         double lost = request.worthAt(done, context.settings) - LATER_WEIGHT * later + costOfGivingUp;
--- a/src/main/java/elderseam/policy/OrderedKeyQueue.java
+++ b/src/main/java/elderseam/policy/OrderedKeyQueue.java
@@ -14,11 +14,6 @@
         return queue.isEmpty() && inFlight == 0;
     }
 
-    /** Whether the request is the oldest of its key, and nothing of the key is in flight or resting. */
-    boolean isNext(PendingRequest request, long now) {
-        return queue.peek() == request && inFlight == 0 && now >= restUntil;
-    }
-
     void rest(long until) {
         restUntil = Math.max(restUntil, until);
     }
--- a/src/main/java/elderseam/policy/OutlierDetector.java
+++ b/src/main/java/elderseam/policy/OutlierDetector.java
@@ -17,6 +17,8 @@
     private static final int SILENT_CALL_FAILURES = 5; // that a call without an answer counts for
     private static final int MAX_FAILURES_COUNTED = 5;
     private static final int MAX_FAILURES_COUNTED_SILENT = 25; // after a call without an answer
+    private static final double MIN_LOST_ANSWERS = 3; // answers are taken to get lost while so many are,
+    private static final double MIN_LOST_SHARE = 0.05; // and this part of all
 
     private final PolicyContext context;
     private final IdleConnectionPolicy connections;
@@ -31,7 +33,7 @@
         EndpointGroup group = call.group;
         group.roll(now);
         boolean ended = outcome.result() != AttemptResult.CANCELLED && outcome.result() != AttemptResult.NOT_SENT;
-        boolean silent = call.cancelled && !context.answerLoss.isPresent();
+        boolean silent = call.cancelled && !context.answerLoss.present;
         if ((ended || silent) && !call.recorded) {
             call.recorded = true;
             record(call, outcome, now);
@@ -118,13 +120,18 @@
         return idled;
     }
 
+    /** Judges anew, once a turn, whether answers are getting lost. */
+    void checkAnswerLoss() {
+        AnswerLoss loss = context.answerLoss;
+        loss.present = loss.lostAnswers() >= MIN_LOST_ANSWERS && loss.lostAnswers() >= MIN_LOST_SHARE * loss.answers();
+    }
+
     /** Finds the overdue and lost calls of a group; trips its breaker where they hang. */
     void checkOverdue(EndpointGroup group, long now) {
         TicketPool tickets = group.tickets;
-        boolean losing = context.answerLoss.isPresent();
+        boolean losing = context.answerLoss.present;
         double multiple = losing ? OVERDUE_MULTIPLE_WITH_LOSS : OVERDUE_MULTIPLE;
-        double expectedNs = Math.max(group.latency.expectedNs(), group.latency.recentLatencyNs);
-        long limitNs = (long) Math.max(MIN_OVERDUE_NS, multiple * context.latency.slowdown * expectedNs);
+        long limitNs = (long) Math.max(MIN_OVERDUE_NS, multiple * context.latency.slowdown * group.latency.currentNs());
         tickets.overdueAfterNs = limitNs + 1;
         tickets.overdue = 0;
         for (AttemptRecord call : tickets.inFlight) {
@@ -152,7 +159,7 @@
             context.decideAt((call.overdue ? hopelessAt : overdueAt) + 1);
         }
         boolean laterAnswered = call.group.latency.latestAnsweredStart > call.start;
-        boolean givenUp = call.hopeless || (call.cancelled && context.answerLoss.isPresent());
+        boolean givenUp = call.hopeless || (call.cancelled && context.answerLoss.present);
         if (laterAnswered && givenUp && !call.lost) {
             call.lost = true;
             context.answerLoss.onLostAnswer();
--- a/src/main/java/elderseam/policy/PendingRequest.java
+++ b/src/main/java/elderseam/policy/PendingRequest.java
@@ -67,14 +67,6 @@
         return priorityWeight * (1 - (1 - requestClass.lateWeight()) * spent);
     }
 
-    /**
-     * Whether it is the oldest of its ordering key, and nothing of the key is in flight or resting; true without a
-     * key.
-     */
-    boolean isNextOfItsKey(long now) {
-        return keyQueue == null || keyQueue.isNext(this, now);
-    }
-
     /** Whether it waits, and others do for the same destination. */
     boolean waitsWithOthers() {
         return destination.waiting.size() > 1 && destination.waiting.contains(this);
--- a/src/main/java/elderseam/policy/PolicyContext.java
+++ b/src/main/java/elderseam/policy/PolicyContext.java
@@ -3,8 +3,8 @@
 import java.util.SplittableRandom;
 
 /**
- * What the parts of one policy share: settings, actions, random numbers, the clock of the current event and figures
- * that span all destinations. Plain state without decisions; confined to the policy's thread.
+ * What the parts of one policy share: settings, actions, random numbers, the clock of the current event, the requests
+ * that are held and figures that span all destinations. Plain state without decisions; confined to the policy's thread.
  */
 final class PolicyContext {
     static final long SECOND_NS = 1_000_000_000L;
@@ -18,6 +18,10 @@
     /** The only source of random numbers; seeded, so the order in which it is drawn from is part of the behaviour. */
     final SplittableRandom random;
 
+    /** How long a request may be held at most. */
+    final long longestDeadlineNs;
+
+    final RequestTable requests;
     final NetworkLatency latency;
     final AnswerLoss answerLoss = new AnswerLoss();
     /** How many senders share the destinations. */
@@ -40,7 +44,12 @@
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         this.senderCount = settings.senderCount();
+        this.longestDeadlineNs = settings.classes().stream()
+                .mapToLong(requestClass -> requestClass.deadlineNs())
+                .max()
+                .orElse(0);
         this.latency = new NetworkLatency(settings);
+        this.requests = new RequestTable(this);
     }
 
     /** Asks for a turn at {@code time}; a time that is not in the future is ignored. */
--- a/src/main/java/elderseam/policy/RateController.java
+++ b/src/main/java/elderseam/policy/RateController.java
@@ -119,12 +119,6 @@
         tokens = estimate.isCrowded() ? 1 : 0;
     }
 
-    /** Begins a slow start without a call to begin with. */
-    void warmUpFromZero(long now) {
-        warmUp(now);
-        tokens = 0;
-    }
-
     void onSuccess() {
         pauseNs = 0;
     }
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -15,7 +15,6 @@
             .thenComparingLong(request -> request.sequence);
 
     private final PolicyContext context;
-    private final RequestTable requests;
     private final LoadShedder loadShedder;
     private final EndpointSelector selector;
     private final RetryPolicy retryPolicy;
@@ -23,13 +22,8 @@
     private final List<PendingRequest> candidates = new ArrayList<>(); // reused by each turn
 
     RequestScheduler(
-            PolicyContext context,
-            RequestTable requests,
-            LoadShedder loadShedder,
-            RetryPolicy retryPolicy,
-            IdleConnectionPolicy connections) {
+            PolicyContext context, LoadShedder loadShedder, RetryPolicy retryPolicy, IdleConnectionPolicy connections) {
         this.context = context;
-        this.requests = requests;
         this.loadShedder = loadShedder;
         this.selector = new EndpointSelector(context);
         this.retryPolicy = retryPolicy;
@@ -39,19 +33,19 @@
     /** Starts what may start now, and asks for a turn when more may. */
     void startAttempts(long now) {
         candidates.clear();
-        for (DestinationState destination : requests.active) {
+        for (DestinationState destination : context.requests.active) {
             if (!destination.waiting.isEmpty()) {
                 collectCandidates(destination, now);
             }
         }
         candidates.sort(BY_PRIORITY);
         for (PendingRequest request : candidates) {
-            EndpointState endpoint = request.isNextOfItsKey(now) ? selector.select(request, now) : null;
+            EndpointState endpoint = isNextOfItsKey(request, now) ? selector.select(request, now) : null;
             if (endpoint != null) {
                 start(request, endpoint, now);
             }
         }
-        for (DestinationState destination : requests.active) {
+        for (DestinationState destination : context.requests.active) {
             destination.groups.forEach(group -> scheduleTurn(group, !destination.waiting.isEmpty(), now));
         }
     }
@@ -89,15 +83,18 @@
 
     /** Whether neither a back-off nor its ordering key holds the request; else asks for a turn. */
     private boolean isDue(PendingRequest request, long now) {
-        if (now < request.notBefore) {
-            context.decideAt(request.notBefore);
-            return false;
+        boolean backsOff = now < request.notBefore;
+        if (!backsOff && isNextOfItsKey(request, now)) {
+            return true;
         }
-        if (!request.isNextOfItsKey(now)) {
-            context.decideAt(request.keyQueue.restUntil);
-            return false;
-        }
-        return true;
+        context.decideAt(backsOff ? request.notBefore : request.keyQueue.restUntil);
+        return false;
+    }
+
+    /** Whether it is the oldest of its ordering key, and nothing of the key is in flight or resting. */
+    private static boolean isNextOfItsKey(PendingRequest request, long now) {
+        OrderedKeyQueue key = request.keyQueue;
+        return key == null || (key.queue.peek() == request && key.inFlight == 0 && now >= key.restUntil);
     }
 
     /** A trial should risk little, then be worth much. */
@@ -124,7 +121,7 @@
             endpoint.group.tickets.lend(call, now);
         }
         retryPolicy.onAttempt(request, now);
-        requests.startAttempt(request, endpoint.batch);
+        context.requests.startAttempt(request, endpoint.batch);
         context.actions.send(request.message.id(), endpoint.address, request.message.deadline());
     }
 }
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -29,9 +29,10 @@
         return mayAttempt(request, now) && (!bound || zone == request.keyZone);
     }
 
-    /** Whether an attempt decided earlier may begin now: the key's window or the readiness may have ended. */
+    /** Whether an attempt decided earlier may begin now: the key's window may be over, either of them gone (null). */
     static boolean mayStillAttempt(PendingRequest request, EndpointState endpoint, long now) {
-        return endpoint.ready && now >= endpoint.group.rate.retryAfterUntil && mayAttempt(request, endpoint.zone, now);
+        boolean ready = request != null && endpoint != null && endpoint.ready;
+        return ready && now >= endpoint.group.rate.retryAfterUntil && mayAttempt(request, endpoint.zone, now);
     }
 
     /** Whether a rejection is truthful: no effect, or none that the client's next request would repeat. */
@@ -66,7 +67,7 @@
         }
     }
 
-    /** Sets when the request may be attempted again after this outcome. */
+    /** Lets a request that is not finished wait for another attempt, until this outcome allows one. */
     void scheduleRetry(PendingRequest request, CompletedAttempt outcome, long now) {
         if (outcome.result() != AttemptResult.FULL && outcome.result() != AttemptResult.NOT_SENT) {
             long backoffNs = withinBudget(request, now)
@@ -76,6 +77,9 @@
         } else if (outcome.noSlot()) {
             request.notBefore = now + PolicyContext.TICK_NS;
         }
+        if (request.inFlight.isEmpty()) {
+            context.requests.await(request);
+        }
     }
 
     private boolean withinBudget(PendingRequest request, long now) {
@@ -104,7 +108,8 @@
                 group.latency.answeredCalls > call.answeredBefore + LATER_ANSWERS_THAT_SHOW_LOSS || call.idleNs > 0;
         boolean scarce = context.inFlight >= context.settings.slots()
                 || (group.breaker.isClosed() && group.tickets.isExhausted() && requestsWait);
-        return (lost && !unsafe) || (scarce && (!unsafe || context.answerLoss.isPresent() || call.hopeless));
+        boolean worthwhile = (lost && !unsafe) || (scarce && (!unsafe || context.answerLoss.present || call.hopeless));
+        return worthwhile && context.settings.mayCancel();
     }
 
     private void cancel(AttemptRecord call) {
--- a/src/main/java/elderseam/policy/TicketPool.java
+++ b/src/main/java/elderseam/policy/TicketPool.java
@@ -33,8 +33,8 @@
 
     /** Tickets of a closed breaker: three quarters of the slots; a quarter while failing or slow. */
     int capacity() {
-        boolean impaired =
-                2 * overdue > inFlight.size() || breaker.consecutiveFailures > 1 || latency.slowerThan(SLOW_MULTIPLE);
+        boolean slow = latency.recentLatencyNs > SLOW_MULTIPLE * context.latency.slowdown * latency.expectedNs();
+        boolean impaired = slow || 2 * overdue > inFlight.size() || breaker.consecutiveFailures > 1;
         return impaired ? Math.max(1, context.settings.slots() / 4) : maxPerDestination(context.settings);
     }
 
@@ -63,25 +63,19 @@
     void lend(AttemptRecord call, long now) {
         hold(call);
         call.endpoint.batch = call;
-        if (breaker.isHalfOpen()) {
-            breaker.trial = call;
-        } else {
+        if (!breaker.isHalfOpen()) {
             rate.takeToken(now);
         }
     }
 
-    /** Lends a ticket to a call that another process of this sender has in flight. */
-    void adopt(AttemptRecord call) {
-        hold(call);
-        if (breaker.isHalfOpen() && breaker.trial == null) {
-            breaker.trial = call;
-        }
-    }
-
-    private void hold(AttemptRecord call) {
+    /** Counts a call in flight, also one of another process of this sender; half-open, the first is the trial. */
+    void hold(AttemptRecord call) {
         inFlight.add(call);
         call.endpoint.inFlight++;
         context.inFlight++;
+        if (breaker.isHalfOpen() && breaker.trial == null) {
+            breaker.trial = call;
+        }
     }
 
     void giveBack(AttemptRecord call) {
