Core: standard names of an attempt's statuses and of a request's attributes

FULL, SPENT, OVER and HELD are OVERLOADED, EXPIRED, WITHDRAWN and NOT_STARTED; waitNs, shareLeft and limitPerS are retryAfterNs, headroom and limitPerSecond; front, source and attributes of RequestAttributes are frontend, clientAddress and eventAttributes. The handover sends a status as its index in an explicit list and the values without names, so no byte changes.

--- a/src/main/java/elderseam/core/AttemptOutcome.java
+++ b/src/main/java/elderseam/core/AttemptOutcome.java
@@ -5,11 +5,12 @@
  *
  * @param progress how far the attempt had come
  * @param status what the response says, or why there is none
- * @param waitNs with {@link Status#FULL}, the Retry-After of the response in nanoseconds; otherwise 0
- * @param shareLeft the remaining share of a limit as the response reports it, or 0
- * @param limitPerS the limit as the response reports it, in requests a second, or 0
+ * @param retryAfterNs with {@link Status#OVERLOADED}, the Retry-After of the response in nanoseconds; otherwise 0
+ * @param headroom the remaining part of a limit as the response reports it, 0 to 1, or 0
+ * @param limitPerSecond the limit as the response reports it, in requests a second, or 0
  */
-public record AttemptOutcome(Progress progress, Status status, long waitNs, double shareLeft, double limitPerS) {
+public record AttemptOutcome(
+        Progress progress, Status status, long retryAfterNs, double headroom, double limitPerSecond) {
     /** How far an attempt had come. Handover frames hold the ordinals: constants are only ever appended. */
     public enum Progress {
         NOT_CONNECTED,
@@ -28,20 +29,20 @@
         /** The endpoint failed. */
         ERROR,
         /** The endpoint is overloaded, or asked for a pause. */
-        FULL,
+        OVERLOADED,
         /** The process had no free connection slot. */
         NO_SLOT,
-        /** The message's time was spent before it could be sent. */
-        SPENT,
+        /** The message's deadline passed before it could be sent. */
+        EXPIRED,
         /** The message ended elsewhere or was withdrawn. */
-        OVER,
+        WITHDRAWN,
         /** The connection broke. */
         BROKEN,
         TIMED_OUT,
         /** Cancelled by this process. */
         ABANDONED,
-        /** This process held the attempt back; the endpoint was never asked. */
-        HELD
+        /** This process held the attempt back at the last moment; the endpoint was never asked. */
+        NOT_STARTED
     }
 
     /** The outcome of an attempt without a response. */
@@ -60,6 +61,6 @@
 
     /** Whether it completes the request: no further attempt is needed. */
     boolean completesRequest() {
-        return status == Status.DELIVERED || status == Status.OVER;
+        return status == Status.DELIVERED || status == Status.WITHDRAWN;
     }
 }
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -71,7 +71,7 @@
         ActiveAttempt attempt = track(request, number, endpoint, start);
         if (!journal.attemptBegins(request.id())) {
             // unrecorded, it must not be sent; held back here, it tells the policy nothing of the endpoint
-            loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.HELD)));
+            loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED)));
             return;
         }
         ActiveRequest.Message message = request.message;
@@ -154,7 +154,7 @@
         }
 
         private static FinalOutcome finalOutcome(AttemptOutcome outcome) {
-            return outcome.status() == Status.OVER ? FinalOutcome.WITHDRAWN : FinalOutcome.DELIVERED;
+            return outcome.status() == Status.WITHDRAWN ? FinalOutcome.WITHDRAWN : FinalOutcome.DELIVERED;
         }
     }
 }
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -127,7 +127,7 @@
                         endpoint,
                         resultOf(outcome),
                         now - start,
-                        outcome.waitNs(),
+                        outcome.retryAfterNs(),
                         outcome.status() == AttemptOutcome.Status.NO_SLOT,
                         outcome.completesRequest(),
                         reportOf(outcome)));
@@ -137,8 +137,8 @@
         return switch (outcome.status()) {
             case DELIVERED -> AttemptResult.DELIVERED;
             case ERROR -> AttemptResult.ERROR;
-            case FULL -> AttemptResult.FULL;
-            case NO_SLOT, SPENT, OVER, HELD -> AttemptResult.NOT_SENT;
+            case OVERLOADED -> AttemptResult.FULL;
+            case NO_SLOT, EXPIRED, WITHDRAWN, NOT_STARTED -> AttemptResult.NOT_SENT;
             case BROKEN -> outcome.mayHaveRun() ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED;
             case TIMED_OUT -> outcome.mayHaveRun() ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED;
             case ABANDONED -> outcome.mayHaveRun() ? AttemptResult.CANCELLED : AttemptResult.CONNECT_FAILED;
@@ -146,7 +146,7 @@
     }
 
     private static LimitReport reportOf(AttemptOutcome outcome) {
-        return new LimitReport(outcome.shareLeft(), outcome.limitPerS());
+        return new LimitReport(outcome.headroom(), outcome.limitPerSecond());
     }
 
     /**
@@ -155,7 +155,7 @@
      */
     void answeredLate(long time, String endpoint, AttemptOutcome outcome) {
         advanceForEvent(time);
-        policy.lateAnswer(now, endpoint, outcome.waitNs(), reportOf(outcome));
+        policy.lateAnswer(now, endpoint, outcome.retryAfterNs(), reportOf(outcome));
     }
 
     /** A late response says that the request is complete: nothing may be sent for it any more. */
--- a/src/main/java/elderseam/core/RequestAttributes.java
+++ b/src/main/java/elderseam/core/RequestAttributes.java
@@ -8,7 +8,7 @@
  */
 public interface RequestAttributes {
     /** The frontend's name, such as {@code platform} or {@code events}. */
-    String front();
+    String frontend();
 
     /** The HTTP method. */
     String method();
@@ -20,10 +20,10 @@
     Map<String, String> headers();
 
     /** The client's address without a port; empty where it is not known. */
-    String source();
+    String clientAddress();
 
     /** The attributes and extensions of an event by name; otherwise empty. */
-    Map<String, String> attributes();
+    Map<String, String> eventAttributes();
 
     /** The message's body. Nobody may modify it. */
     byte[] body();
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -58,6 +58,6 @@
         String wait = r.header("Retry-After");
         double seconds = full && wait.matches("\\d{1,6}(\\.\\d{1,9})?") ? Double.parseDouble(wait) : 0;
         return new AttemptOutcome(
-                r.progress(), full ? Status.FULL : Status.ERROR, (long) (seconds * 1_000 * Clock.MS), 0, 0);
+                r.progress(), full ? Status.OVERLOADED : Status.ERROR, (long) (seconds * 1_000 * Clock.MS), 0, 0);
     }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -68,13 +68,13 @@
         }
         Status status = switch (r.code()) {
             case 200 -> Status.DELIVERED;
-            case 429 -> Status.FULL;
-            case 503 -> r.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.FULL;
-            case 504 -> Status.SPENT;
-            case 410 -> Status.OVER;
+            case 429 -> Status.OVERLOADED;
+            case 503 -> r.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.OVERLOADED;
+            case 504 -> Status.EXPIRED;
+            case 410 -> Status.WITHDRAWN;
             default -> Status.ERROR;
         };
-        double wait = status == Status.FULL ? Math.min(MOST_WAIT_MS, number(r.header("X-RateLimit-Wait-Ms"))) : 0;
+        double wait = status == Status.OVERLOADED ? Math.min(MOST_WAIT_MS, number(r.header("X-RateLimit-Wait-Ms"))) : 0;
         double left = value(r.header("X-Pressure"), fields, 0), limit = value(r.header("X-Pressure"), fields, 1);
         boolean sense = left <= 1 && limit <= MOST_LIMIT;
         return new AttemptOutcome(r.progress(), status, (long) (wait * Clock.MS), sense ? left : 0, sense ? limit : 0);
--- a/src/main/java/elderseam/handover/HandoverFrameCodec.java
+++ b/src/main/java/elderseam/handover/HandoverFrameCodec.java
@@ -42,14 +42,14 @@
     private static final List<Status> STATUS_BY_CODE = List.of(
             Status.DELIVERED,
             Status.ERROR,
-            Status.FULL,
+            Status.OVERLOADED,
             Status.NO_SLOT,
-            Status.SPENT,
-            Status.OVER,
+            Status.EXPIRED,
+            Status.WITHDRAWN,
             Status.BROKEN,
             Status.TIMED_OUT,
             Status.ABANDONED,
-            Status.HELD);
+            Status.NOT_STARTED);
 
     private HandoverFrameCodec() {}
 
@@ -138,9 +138,9 @@
         AttemptOutcome outcome = attempt.outcome();
         out.writeByte(PROGRESS_BY_CODE.indexOf(outcome.progress()));
         out.writeByte(STATUS_BY_CODE.indexOf(outcome.status()));
-        out.writeLong(outcome.waitNs());
-        out.writeDouble(outcome.shareLeft());
-        out.writeDouble(outcome.limitPerS());
+        out.writeLong(outcome.retryAfterNs());
+        out.writeDouble(outcome.headroom());
+        out.writeDouble(outcome.limitPerSecond());
     }
 
     private static Handover.ForwardedOutcome readCompletedAttempt(DataInputStream in) throws IOException {
@@ -150,11 +150,15 @@
         boolean late = in.readBoolean();
         Progress progress = readCode(in, PROGRESS_BY_CODE);
         Status status = readCode(in, STATUS_BY_CODE);
-        long waitNs = in.readLong();
-        double shareLeft = in.readDouble();
-        double limitPerS = in.readDouble();
+        long retryAfterNs = in.readLong();
+        double headroom = in.readDouble();
+        double limitPerSecond = in.readDouble();
         return new Handover.ForwardedOutcome(
-                requestId, attempt, endpoint, late, new AttemptOutcome(progress, status, waitNs, shareLeft, limitPerS));
+                requestId,
+                attempt,
+                endpoint,
+                late,
+                new AttemptOutcome(progress, status, retryAfterNs, headroom, limitPerSecond));
     }
 
     private static <T> T readCode(DataInputStream in, List<T> valuesByCode) throws IOException {
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -315,7 +315,7 @@
                 return;
             }
             if (!maySend.getAsBoolean()) {
-                finish(Status.HELD);
+                finish(Status.NOT_STARTED);
                 return;
             }
             expire(answerBy, Status.TIMED_OUT);
@@ -328,7 +328,7 @@
             try {
                 while (!over && bytes.hasRemaining()) {
                     if (!maySend.getAsBoolean()) { // cut off, it never runs
-                        finish(Status.HELD);
+                        finish(Status.NOT_STARTED);
                     } else if (to.write(bytes) == 0) {
                         to.setWriteListener(this::write);
                         to.resumeWrites();
@@ -441,7 +441,7 @@
             }
             if (link != null) {
                 link.current = null;
-                if (failure == null || (failure == Status.HELD && progress == Progress.NOT_CONNECTED)) {
+                if (failure == null || (failure == Status.NOT_STARTED && progress == Progress.NOT_CONNECTED)) {
                     keep(host, link);
                 } else if (!listens(failure)) {
                     link.close();
--- a/src/main/java/elderseam/http/HttpRequestAttributes.java
+++ b/src/main/java/elderseam/http/HttpRequestAttributes.java
@@ -4,8 +4,8 @@
 import elderseam.http.HttpServer.Request;
 import java.util.Map;
 
-/** What a request tells the operator's rules; {@code attributes} and {@code body} are those of its message. */
-public record HttpRequestAttributes(String front, Request request, Map<String, String> attributes, byte[] body)
+/** What a request tells the operator's rules; {@code eventAttributes} and {@code body} are those of its message. */
+public record HttpRequestAttributes(String frontend, Request request, Map<String, String> eventAttributes, byte[] body)
         implements RequestAttributes {
     @Override
     public String method() {
@@ -23,7 +23,7 @@
     }
 
     @Override
-    public String source() {
+    public String clientAddress() {
         return request.source() == null || request.source().getAddress() == null
                 ? ""
                 : request.source().getAddress().getHostAddress();
--- a/src/main/java/elderseam/policy/RateController.java
+++ b/src/main/java/elderseam/policy/RateController.java
@@ -163,10 +163,10 @@
 
     /** An answer told the destination's limit and how much of it is left. */
     void onReport(LimitReport report, long now) {
-        if (report.limitPerS() <= 0) {
+        if (report.limitPerSecond() <= 0) {
             return;
         }
-        estimate.advertised = report.limitPerS();
+        estimate.advertised = report.limitPerSecond();
         limitReported = true;
         headroom = report.headroom() >= AMPLE_HEADROOM;
         if (report.headroom() < SCARCE_HEADROOM) {
--- a/src/main/java/elderseam/rules/RuleInput.java
+++ b/src/main/java/elderseam/rules/RuleInput.java
@@ -78,16 +78,16 @@
     @Override
     protected Object value(int name) {
         return switch (name) {
-            case RuleVariables.FRONT -> facts.front();
+            case RuleVariables.FRONT -> facts.frontend();
             case RuleVariables.METHOD -> facts.method();
             case RuleVariables.PATH -> bounded(facts.path());
             case RuleVariables.HEADERS -> facts.headers();
-            case RuleVariables.SOURCE -> facts.source();
+            case RuleVariables.SOURCE -> facts.clientAddress();
             case RuleVariables.ID -> id;
             case RuleVariables.CLASS -> cls < 0 ? "" : classes.get(cls);
             case RuleVariables.TENANT -> tenant < 0 ? "" : tenants.get(tenant);
             case RuleVariables.KEY -> key;
-            case RuleVariables.EVENT -> facts.attributes();
+            case RuleVariables.EVENT -> facts.eventAttributes();
             case RuleVariables.BREAKER ->
                 switch (state.breaker(destination)) {
                     case CLOSED -> "closed";
--- a/src/main/java/elderseam/rules/SampleRequest.java
+++ b/src/main/java/elderseam/rules/SampleRequest.java
@@ -95,7 +95,7 @@
 
     /** What a rulebook makes of it. Limits are not charged. */
     void decide(Rulebook book, KnownNames names, RuleResult into) {
-        boolean event = front().equals("events");
+        boolean event = frontend().equals("events");
         String dest = event ? header("ce-destination") : header("x-addressing").replace("dest=", "");
         String id = event ? header("ce-source") + header("ce-id") : header("x-txn");
         book.decide(
@@ -122,7 +122,7 @@
     }
 
     @Override
-    public String front() {
+    public String frontend() {
         return path.equals("/events") ? "events" : "platform";
     }
 
@@ -142,12 +142,12 @@
     }
 
     @Override
-    public String source() {
+    public String clientAddress() {
         return "127.0.0.1";
     }
 
     @Override
-    public Map<String, String> attributes() {
+    public Map<String, String> eventAttributes() {
         return attributes;
     }
 
--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -157,7 +157,7 @@
             end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.rejected(Policies.AGAIN_NS));
         } else {
             place.at(
-                    now + Math.max(end.waitNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))),
+                    now + Math.max(end.retryAfterNs(), Math.min(MOST_BACK_NS, BACK_NS << Math.min(10, h.attempts))),
                     () -> tryNow(h));
         }
     }
--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -193,8 +193,8 @@
 
         @Override
         void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
-            if (end.waitNs() > 0) {
-                waits.merge(destination, now + end.waitNs(), Math::max);
+            if (end.retryAfterNs() > 0) {
+                waits.merge(destination, now + end.retryAfterNs(), Math::max);
             }
         }
     }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -118,7 +118,8 @@
                     return Reply.of(Status.ERROR, ERROR_NS, -1);
                 }
                 case SHUT -> {
-                    return new Reply(Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? s.to - now : 0, 0, 0, -1);
+                    return new Reply(
+                            Progress.ANSWERED, Status.OVERLOADED, 5 * MS, kind.told() ? s.to - now : 0, 0, 0, -1);
                 }
                 case HANG -> { // half of what hangs was acted on
                     return Reply.of(
@@ -142,7 +143,7 @@
         long wait = limited(now);
         if (wait > 0) {
             return new Reply(
-                    Progress.ANSWERED, Status.FULL, 5 * MS, kind.told() ? wait : 0, 0, reported(m, attempt), -1);
+                    Progress.ANSWERED, Status.OVERLOADED, 5 * MS, kind.told() ? wait : 0, 0, reported(m, attempt), -1);
         }
         long queued = kind.slots() == 0 ? 0 : queued(now, busy.get(endpoint), service);
         if (queued < 0) {
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -103,7 +103,7 @@
                 return;
             }
             if (!attempt.maySend()) {
-                ends(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.HELD));
+                ends(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED));
                 return;
             }
             watcher.called(time.now(), dispatcher, m, name);
--- a/src/main/java/elderseam/testkit/emulator/RunStatistics.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -98,7 +98,7 @@
 
     @Override
     public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
-        if (end.status() != AttemptOutcome.Status.DELIVERED && end.status() != AttemptOutcome.Status.FULL) {
+        if (end.status() != AttemptOutcome.Status.DELIVERED && end.status() != AttemptOutcome.Status.OVERLOADED) {
             failedCalls++;
             failedAt[second(now)]++;
         }
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -83,14 +83,14 @@
         for (Status s : List.of(
                 Status.DELIVERED,
                 Status.ERROR,
-                Status.FULL,
+                Status.OVERLOADED,
                 Status.NO_SLOT,
-                Status.SPENT,
-                Status.OVER,
+                Status.EXPIRED,
+                Status.WITHDRAWN,
                 Status.BROKEN,
                 Status.TIMED_OUT,
                 Status.ABANDONED,
-                Status.HELD)) {
+                Status.NOT_STARTED)) {
             all.add(new HandoverFrame.AttemptCompletion(
                     new ForwardedOutcome("m2", 5, "b1", true, new AttemptOutcome(Progress.ANSWERED, s, 9, 0.25, 30))));
         }
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -50,7 +50,7 @@
             answerAll(AttemptOutcome.unanswered(Progress.WRITTEN, Status.BROKEN));
         }
         take(3, 0);
-        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.FULL, 9_000 * Clock.MS, 0, 0));
+        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, 9_000 * Clock.MS, 0, 0));
         take(3, 1);
         answerAll(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.25, 30));
         process.relay.setDrained("a2", true);
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -21,7 +21,8 @@
 /** The dispatcher without sockets: acceptance, attempts and final outcomes. */
 class RequestDispatcherTest {
     private static final long RETRY_AFTER_NS = 3_000 * Clock.MS;
-    private static final AttemptOutcome FULL = new AttemptOutcome(Progress.ANSWERED, Status.FULL, RETRY_AFTER_NS, 0, 0);
+    private static final AttemptOutcome OVERLOADED =
+            new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, RETRY_AFTER_NS, 0, 0);
 
     @TempDir
     Path folder;
@@ -206,9 +207,9 @@
         harness.submit("a");
         harness.submit("b");
         assertTrue(harness.attempts.get(1).maySend());
-        harness.end(0, FULL);
+        harness.end(0, OVERLOADED);
         assertFalse(harness.attempts.get(1).maySend());
-        harness.end(1, AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.HELD));
+        harness.end(1, AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED));
         assertEquals(2, harness.dispatcher.requestsInFlight(), "held back, not complete");
         assertEquals(List.of(), harness.completed);
         assertEquals(2, harness.attempts.size(), "nothing is sent during the Retry-After");
@@ -222,7 +223,7 @@
     void aLateResponseReportsItsRetryAfterAndItsDelivery() {
         harness.submit("a");
         harness.end(0, AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.BROKEN)); // to be tried again
-        harness.attempts.get(0).answeredLate(FULL);
+        harness.attempts.get(0).answeredLate(OVERLOADED);
         harness.runDueTasks();
         harness.submit("b");
         assertEquals(1, harness.attempts.size(), "the destination sent a Retry-After");
--- a/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -21,12 +21,12 @@
     @Test
     void codesAndWaits() {
         assertEquals(Status.DELIVERED, end(200, "X", "").status());
-        assertEquals(350_000_000L, end(429, "X-RateLimit-Wait-Ms", "350").waitNs());
-        assertEquals(0, end(200, "X-RateLimit-Wait-Ms", "350").waitNs());
-        assertEquals(Status.FULL, end(503, "X-Over-Slots", "0").status());
+        assertEquals(350_000_000L, end(429, "X-RateLimit-Wait-Ms", "350").retryAfterNs());
+        assertEquals(0, end(200, "X-RateLimit-Wait-Ms", "350").retryAfterNs());
+        assertEquals(Status.OVERLOADED, end(503, "X-Over-Slots", "0").status());
         assertEquals(Status.NO_SLOT, end(503, "X-Over-Slots", "1").status());
-        assertEquals(Status.SPENT, end(504, "X", "").status());
-        assertEquals(Status.OVER, end(410, "X", "").status());
+        assertEquals(Status.EXPIRED, end(504, "X", "").status());
+        assertEquals(Status.WITHDRAWN, end(410, "X", "").status());
         assertEquals(
                 List.of(true, false, false),
                 List.of(
@@ -39,7 +39,7 @@
     @Test
     void reports() {
         AttemptOutcome told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
-        assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
+        assertEquals(List.of(0.4, 25.0), List.of(told.headroom(), told.limitPerSecond()));
         for (String nonsense : List.of(
                 "TEXT x1=many, x0",
                 "BIN x0=0.4, x1=25",
@@ -48,9 +48,9 @@
                 "TEXT x0=7, x1=25",
                 "\u0000\u00ff=,=,")) {
             AttemptOutcome odd = end(200, "X-Pressure", nonsense);
-            assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
+            assertEquals(List.of(0.0, 0.0), List.of(odd.headroom(), odd.limitPerSecond()), nonsense);
         }
-        assertTrue(end(429, "X-RateLimit-Wait-Ms", "1e300").waitNs() > 0, "an endless wait must not run over");
+        assertTrue(end(429, "X-RateLimit-Wait-Ms", "1e300").retryAfterNs() > 0, "an endless wait must not run over");
     }
 
     @Test
--- a/src/test/java/elderseam/handover/HandoverChannelTest.java
+++ b/src/test/java/elderseam/handover/HandoverChannelTest.java
@@ -28,7 +28,7 @@
     private static final String CLOSED = "closed";
     private static final HandoverFrame REQUEST = new HandoverFrame.TransferRequest();
     private static final HandoverFrame COMPLETION = new HandoverFrame.AttemptCompletion(new Handover.ForwardedOutcome(
-            "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.FULL, 7, 0.5, 3)));
+            "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, 7, 0.5, 3)));
 
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
--- a/src/test/java/elderseam/handover/HandoverFrameCodecTest.java
+++ b/src/test/java/elderseam/handover/HandoverFrameCodecTest.java
@@ -18,7 +18,7 @@
 class HandoverFrameCodecTest {
     private static final HandoverFrame.AttemptCompletion COMPLETION =
             new HandoverFrame.AttemptCompletion(new Handover.ForwardedOutcome(
-                    "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.FULL, 7, 0.5, 3)));
+                    "m", 2, "h", true, new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, 7, 0.5, 3)));
     private static final HandoverFrame.StateTransfer TRANSFER = new HandoverFrame.StateTransfer(
             "{\"name\":\"Österreich\"}",
             new Handover.State(new byte[] {1, 2, 3}, List.of(new Handover.InFlightAttempt("a", 1, "h", 5))),
--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -107,7 +107,7 @@
             long by = io.clock.now() + 10_000 * Clock.MS;
             CompletableFuture<HttpResult> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
             io.run(() -> connections.send(host, call, by, by, () -> false, () -> {}, null, held::complete));
-            check(Progress.NOT_CONNECTED, Status.HELD, held);
+            check(Progress.NOT_CONNECTED, Status.NOT_STARTED, held);
             io.run(() -> connections.send(
                     host, new HttpRequest("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
             try (Socket s = server.accept()) {
--- a/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
+++ b/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
@@ -74,8 +74,8 @@
                 @Override
                 public void ended(AttemptOutcome end) {
                     out--;
-                    if (end.waitNs() > 0) {
-                        waits.put(m.destination(), place.time().now() + end.waitNs());
+                    if (end.retryAfterNs() > 0) {
+                        waits.put(m.destination(), place.time().now() + end.retryAfterNs());
                     }
                     Faulty.this.ended(m, attempt, end);
                 }
