--- a/src/test/java/elderseam/policy/AdviceTest.java
+++ b/src/test/java/elderseam/policy/AdviceTest.java
@@ -29,7 +29,7 @@
         int traced = harness.trace.size(), timers = harness.timersSet;
         harness.policy.advised(harness.now, 1, 1, 1_000);
         harness.policy.advised(harness.now, 77, 1, 1_000);
-        harness.policy.turnEnd(harness.now);
+        harness.endTurn();
         assertEquals(BreakerState.CLOSED, breaker().state());
         assertEquals(traced, harness.trace.size());
         assertEquals(timers, harness.timersSet);
--- a/src/test/java/elderseam/policy/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -134,8 +134,7 @@
     @Test
     void aFreshSenderWritesAsBefore() throws IOException {
         DispatchPolicy brain = new DispatchPolicy(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
-        brain.endpoints(
-                NOW, ListUpdateKind.COMPLETE, List.of(PolicyTestHarness.endpoint("a1", 5, 1, EndpointStatus.READY)));
+        brain.endpoints(NOW, ListUpdateKind.COMPLETE, List.of(PolicyTestHarness.ready("a1", 5, 1)));
         Notes written = new Notes(null, null);
         brain.transfer(NOW, written);
         Recorded.assertLines(FRESH, written.lines);
--- a/src/test/java/elderseam/policy/ChurnTest.java
+++ b/src/test/java/elderseam/policy/ChurnTest.java
@@ -15,12 +15,12 @@
     @Test
     void nothingGrowsWithIdsThatAreGone() {
         for (int i = 0; i < 100; i++) {
-            harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, EndpointStatus.READY));
+            harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.ready("e" + i, 100 + i, 0));
             harness.answer(harness.submit(2, i, 100 + i), AttemptResult.DELIVERED);
             harness.answer(
                     harness.submit(2, 1_000 + i, 100 + i), AttemptResult.RESET); // its ordering key rests for a while
             harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("e" + i, 100 + i, 0, EndpointStatus.GONE));
-            harness.pass(S);
+            harness.advance(S);
         }
         assertEquals(1, harness.policy.directory.endpoints.size());
         assertTrue(
@@ -36,12 +36,12 @@
     @Test
     void aSuccessorStartsAnew() {
         String id = harness.submit(0, -1, 1);
-        harness.list(ListUpdateKind.COMPLETE, PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
+        harness.list(ListUpdateKind.COMPLETE, PolicyTestHarness.ready("b:1", 1, 0));
         assertEquals(2, harness.policy.directory.endpoints.size());
         harness.answer(id, AttemptResult.DELIVERED);
         harness.list(ListUpdateKind.CHANGES);
         assertEquals(1, harness.policy.directory.endpoints.size());
-        assertEquals("b:1", harness.only(harness.submit(0, -1, 1)).endpoint());
+        assertEquals("b:1", harness.onlyAttempt(harness.submit(0, -1, 1)).endpoint());
     }
 
     /** A destination is known while it is listed, and for as long after as its messages may be held. */
@@ -50,9 +50,9 @@
         assertTrue(harness.policy.serves(harness.now, 1));
         assertFalse(harness.policy.serves(harness.now, 2));
         harness.list(ListUpdateKind.COMPLETE);
-        harness.pass(20 * S);
+        harness.advance(20 * S);
         assertTrue(harness.policy.serves(harness.now, 1));
-        harness.pass(20 * S);
+        harness.advance(20 * S);
         assertFalse(harness.policy.serves(harness.now, 1));
     }
 }
--- a/src/test/java/elderseam/policy/LimitTest.java
+++ b/src/test/java/elderseam/policy/LimitTest.java
@@ -17,15 +17,15 @@
     private int serve(long ns, AttemptResult result) {
         int sent = 0;
         for (long end = harness.now + ns; harness.now < end; ) {
-            while (harness.messages.values().stream()
-                            .filter(m -> m.end == null && m.out.isEmpty())
+            while (harness.requests.values().stream()
+                            .filter(request -> request.outcome == null && request.inFlight.isEmpty())
                             .count()
                     < 20) {
                 harness.submit(0, -1, 1);
             }
-            List<PolicyTestHarness.Attempt> out = new ArrayList<>(harness.out());
-            harness.pass(50 * MS);
-            out.forEach(a -> harness.answer(a, result, 0));
+            List<PolicyTestHarness.Attempt> out = new ArrayList<>(harness.inFlight());
+            harness.advance(50 * MS);
+            out.forEach(attempt -> harness.answer(attempt, result, 0));
             sent += out.size();
         }
         return sent;
@@ -38,9 +38,9 @@
             harness.answer(harness.submit(2, i, 1), AttemptResult.RESET); // in a row: the breaker opens
         }
         harness.submit(0, -1, 1);
-        assertTrue(harness.out().isEmpty(), "parked");
-        harness.pass(2_500 * MS);
-        assertEquals(1, harness.out().size(), "one live trial");
+        assertTrue(harness.inFlight().isEmpty(), "parked");
+        harness.advance(2_500 * MS);
+        assertEquals(1, harness.inFlight().size(), "one live trial");
     }
 
     /** A limit fell to a tenth for 7 s and rose again: the pace crept up by 15% a second, and 27% were refused. */
@@ -62,18 +62,18 @@
     @Test
     void unseenTimeIsNoSilence() {
         PolicyTestHarness blind = PolicyTestHarness.simple(40);
-        for (PolicyTestHarness r : List.of(harness, blind)) {
-            r.submit(0, -1, 1);
-            r.submit(0, -1, 1);
-            r.now += 3 * S;
+        for (PolicyTestHarness each : List.of(harness, blind)) {
+            each.submit(0, -1, 1);
+            each.submit(0, -1, 1);
+            each.now += 3 * S;
         }
         blind.policy.unseen(blind.now, 3 * S);
-        for (PolicyTestHarness r : List.of(harness, blind)) {
-            r.policy.turnEnd(r.now);
+        for (PolicyTestHarness each : List.of(harness, blind)) {
+            each.endTurn();
         }
-        assertTrue(harness.trace.stream().anyMatch(l -> l.contains("hung calls")), "silent for 3 s");
-        assertTrue(blind.trace.stream().noneMatch(l -> l.contains("hung calls")), blind.trace::toString);
-        blind.pass(3 * S);
-        assertTrue(blind.trace.stream().anyMatch(l -> l.contains("hung calls")), "silent for 3 s more");
+        assertTrue(harness.trace.stream().anyMatch(line -> line.contains("hung calls")), "silent for 3 s");
+        assertTrue(blind.trace.stream().noneMatch(line -> line.contains("hung calls")), blind.trace::toString);
+        blind.advance(3 * S);
+        assertTrue(blind.trace.stream().anyMatch(line -> line.contains("hung calls")), "silent for 3 s more");
     }
 }
--- a/src/test/java/elderseam/policy/PolicyParts.java
+++ b/src/test/java/elderseam/policy/PolicyParts.java
@@ -13,7 +13,7 @@
 
     PolicyParts() {
         context.now = NOW;
-        endpoint = directory.add(PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
+        endpoint = directory.add(PolicyTestHarness.ready("a:1", 1, 0));
         endpoint.ready = true;
         group = endpoint.group;
     }
--- /dev/null
+++ b/src/test/java/elderseam/policy/PolicySettingsBuilder.java
@@ -0,0 +1,115 @@
+package elderseam.policy;
+
+import static elderseam.policy.PolicyTestHarness.MS;
+import static elderseam.policy.PolicyTestHarness.S;
+
+import java.util.List;
+
+/**
+ * Settings for tests: three classes (safe, keyed, unsafe in order), one kind of destination and two senders, with what
+ * a test needs otherwise.
+ */
+final class PolicySettingsBuilder {
+    private final PolicySettings usual;
+    private int maxHeld;
+    private int senderCount;
+    private boolean subscribes;
+    private WeightPrecision weightPrecision;
+    private PriceSettings prices;
+
+    private PolicySettingsBuilder(PolicySettings usual) {
+        this.usual = usual;
+        this.maxHeld = usual.maxHeld();
+        this.senderCount = usual.senderCount();
+        this.subscribes = usual.subscribes();
+        this.weightPrecision = usual.weightPrecision();
+        this.prices = usual.prices();
+    }
+
+    /** Begins with the usual settings for one kind of destination. */
+    static PolicySettingsBuilder with(int slots, DestinationKind kind, boolean keyPerZone) {
+        return new PolicySettingsBuilder(usual(slots, kind, keyPerZone));
+    }
+
+    private static PolicySettings usual(int slots, DestinationKind kind, boolean keyPerZone) {
+        return new PolicySettings(
+                List.of(
+                        new RequestClass(Idempotency.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
+                        new RequestClass(Idempotency.KEYED, keyPerZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
+                        new RequestClass(Idempotency.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
+                List.of(kind),
+                List.of(),
+                slots,
+                300,
+                6,
+                2,
+                0,
+                true,
+                1,
+                true,
+                false,
+                false,
+                WeightPrecision.UNKNOWN,
+                2 * S,
+                250 * MS,
+                0.25,
+                10 * S,
+                2,
+                2 * S,
+                100 * MS,
+                new ConnectionSettings(10 * S, 1, 1500 * MS),
+                new PriceSettings(0.05, 0, List.of()));
+    }
+
+    PolicySettingsBuilder maxHeld(int requests) {
+        maxHeld = requests;
+        return this;
+    }
+
+    PolicySettingsBuilder senderCount(int senders) {
+        senderCount = senders;
+        return this;
+    }
+
+    PolicySettingsBuilder subscribes() {
+        subscribes = true;
+        return this;
+    }
+
+    PolicySettingsBuilder weightPrecision(WeightPrecision precision) {
+        weightPrecision = precision;
+        return this;
+    }
+
+    PolicySettingsBuilder zoneFees(Double... fees) {
+        prices = new PriceSettings(0, 0, List.of(fees));
+        return this;
+    }
+
+    PolicySettings build() {
+        return new PolicySettings(
+                usual.classes(),
+                usual.kinds(),
+                usual.tenantRates(),
+                usual.slots(),
+                maxHeld,
+                usual.maxAttempts(),
+                senderCount,
+                usual.zone(),
+                usual.halvesWhenLate(),
+                usual.overQuotaWeight(),
+                usual.mayCancel(),
+                usual.mayHedge(),
+                subscribes,
+                weightPrecision,
+                usual.maxRetryAfterNs(),
+                usual.drainGraceNs(),
+                usual.coldRateRatio(),
+                usual.warmUpNs(),
+                usual.overloadMultiple(),
+                usual.overloadNs(),
+                usual.keyRestNs(),
+                usual.connections(),
+                prices);
+    }
+}
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -12,309 +12,351 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** A host under test's control: carries out what the module asks and asserts the six rules at every action. */
+/**
+ * A host of one policy with a clock that the test moves. It carries out what the policy decides and asserts at every
+ * action what no policy may break: idempotency, order, Retry-After, drains, slots and one final outcome a request.
+ */
 final class PolicyTestHarness implements PolicyActions {
     static final long MS = 1_000_000;
     static final long S = 1_000 * MS;
 
-    /** An attempt that is out. */
+    private static final long TICK_NS = 5 * MS;
+    private static final long TIMER_RESOLUTION_NS = 1_000;
+    /** How late a final outcome may come after the deadline. */
+    private static final long MAX_LATENESS_NS = 20 * MS;
+
+    /** An attempt in flight. */
     record Attempt(String id, int number, String endpoint, long start, long stopAt) {}
 
-    /** What the host knows of a message. */
-    static final class Sent {
-        final PolicyRequest msg;
-        final RequestClass cls;
-        final List<Attempt> out = new ArrayList<>();
-        int attempts;
-        boolean maybeRan;
-        long firstMaybe;
-        int zone;
-        String end;
-        long endedAt;
-
-        Sent(PolicyRequest msg, RequestClass cls) {
-            this.msg = msg;
-            this.cls = cls;
-        }
-    }
+    private record Cancellation(String id, int attempt) {}
 
     final PolicySettings settings;
     final DispatchPolicy policy;
-    final Map<String, Sent> messages = new LinkedHashMap<>();
-    /** Messages unfinished, or with attempts out. */
-    final Map<String, Sent> active = new LinkedHashMap<>();
+    final Map<String, SubmittedRequest> requests = new LinkedHashMap<>();
+    /** Requests without a final outcome, or with attempts in flight. */
+    final Map<String, SubmittedRequest> unfinished = new LinkedHashMap<>();
 
     final Map<String, ListedEndpoint> listed = new HashMap<>();
-    final Map<String, Long> leftAt = new HashMap<>();
-    final Map<String, Long> waits = new HashMap<>();
-    final Map<Long, List<Sent>> orderedRequests = new HashMap<>();
-    final Map<Long, Long> rests = new HashMap<>();
+    /** Since when an endpoint has not been ready. */
+    private final Map<String, Long> unreadySince = new HashMap<>();
+    /** By destination, or by endpoint where routes are apart. */
+    final Map<String, Long> retryAfterUntil = new HashMap<>();
+
+    private final Map<Long, List<SubmittedRequest>> byOrderingKey = new HashMap<>();
+    private final Map<Long, Long> keyRestsUntil = new HashMap<>();
     final TreeMap<Long, List<Long>> timers = new TreeMap<>();
+    private final List<Cancellation> cancellations = new ArrayList<>();
+    /** Each action as a line that begins with its time. */
     final List<String> trace = new ArrayList<>();
-    final List<String[]> cancels = new ArrayList<>();
+
     long now = 1_000 * S;
-    int subscribes;
+    int subscriptions;
     int timersSet;
-    LimitReport report = LimitReport.NONE; // what the next answers tell
-    double patience = 1; // share of the class's time that the next messages have left
-    private int ids;
+    /** What the next answers tell. */
+    LimitReport report = LimitReport.NONE;
+    /** Part of the class's time that the next requests have left. */
+    double patience = 1;
+
+    private int submitted;
 
     PolicyTestHarness(PolicySettings settings, long seed) {
         this.settings = settings;
         this.policy = new DispatchPolicy(settings, seed, this);
     }
 
-    /** Settings with three classes (safe, keyed, unsafe in order) and one kind. */
-    static PolicySettings settings(int slots, DestinationKind kind, boolean perZone) {
-        return new PolicySettings(
-                List.of(
-                        new RequestClass(Idempotency.SAFE, false, false, 2 * S, 20 * S, 1, 0.4, 0),
-                        new RequestClass(Idempotency.KEYED, perZone, false, 2 * S, 16 * S, 2, 0.4, 6 * S),
-                        new RequestClass(Idempotency.UNSAFE, false, true, 3 * S, 28 * S, 5, 0.4, 0)),
-                List.of(kind),
-                List.of(),
-                slots,
-                300,
-                6,
-                2,
-                0,
-                true,
-                1,
-                true,
-                false,
-                false,
-                WeightPrecision.UNKNOWN,
-                2 * S,
-                250 * MS,
-                0.25,
-                10 * S,
-                2,
-                2 * S,
-                100 * MS,
-                new ConnectionSettings(10 * S, 1, 1500 * MS),
-                new PriceSettings(0.05, 0, List.of()));
+    /** The usual settings, see {@link PolicySettingsBuilder}. */
+    static PolicySettings settings(int slots, DestinationKind kind, boolean keyPerZone) {
+        return PolicySettingsBuilder.with(slots, kind, keyPerZone).build();
     }
 
-    static PolicyTestHarness simple(int slots) {
-        PolicyTestHarness harness = new PolicyTestHarness(settings(slots, new DestinationKind(false, 1), false), 7);
-        harness.list(ListUpdateKind.CACHED, endpoint("a:1", 1, 0, EndpointStatus.READY));
+    /** A harness whose policy has read these endpoints from its cache. */
+    static PolicyTestHarness listing(PolicySettings settings, long seed, ListedEndpoint... endpoints) {
+        PolicyTestHarness harness = new PolicyTestHarness(settings, seed);
+        harness.list(ListUpdateKind.CACHED, endpoints);
         return harness;
     }
 
-    static ListedEndpoint endpoint(String address, long dest, int zone, EndpointStatus listing) {
-        return new ListedEndpoint(address, dest, 0, zone, listing, 1);
+    /** A harness with the endpoint a:1 of destination 1. */
+    static PolicyTestHarness simple(int slots) {
+        return listing(settings(slots, new DestinationKind(false, 1), false), 7, ready("a:1", 1, 0));
+    }
+
+    static ListedEndpoint endpoint(String address, long destination, int zone, EndpointStatus status) {
+        return new ListedEndpoint(address, destination, 0, zone, status, 1);
+    }
+
+    static ListedEndpoint ready(String address, long destination, int zone) {
+        return endpoint(address, destination, zone, EndpointStatus.READY);
+    }
+
+    void endTurn() {
+        policy.turnEnd(now);
     }
 
     void list(ListUpdateKind kind, ListedEndpoint... entries) {
         if (kind == ListUpdateKind.COMPLETE || kind == ListUpdateKind.CACHED) {
-            listed.keySet().forEach(a -> leftAt.putIfAbsent(a, now));
+            listed.keySet().forEach(address -> unreadySince.putIfAbsent(address, now));
         }
-        for (ListedEndpoint e : entries) {
-            listed.put(e.address(), e);
-            if (e.status() == EndpointStatus.READY) {
-                leftAt.remove(e.address());
+        for (ListedEndpoint entry : entries) {
+            listed.put(entry.address(), entry);
+            if (entry.status() == EndpointStatus.READY) {
+                unreadySince.remove(entry.address());
             } else {
-                leftAt.putIfAbsent(e.address(), now);
+                unreadySince.putIfAbsent(entry.address(), now);
             }
         }
         policy.endpoints(now, kind, List.of(entries));
-        policy.turnEnd(now);
+        endTurn();
     }
 
-    String submit(int cls, long key, long dest) {
-        String id = take(cls, key, dest);
-        policy.turnEnd(now);
+    /** Hands a request in and ends the turn; a key below 0 means none. Returns its id. */
+    String submit(int requestClass, long orderKey, long destination) {
+        String id = accept(requestClass, orderKey, destination);
+        endTurn();
         return id;
     }
 
-    /** Hands a message in without closing the turn. */
-    String take(int cls, long key, long dest) {
-        String id = String.format("%016x", ++ids);
-        RequestClass c = settings.classes().get(cls);
-        PolicyRequest m =
-                new PolicyRequest(id, cls, 0, key, now + (long) (c.deadlineNs() * patience), dest, patience < 1);
-        Sent sent = new Sent(m, c);
-        messages.put(id, sent);
-        active.put(id, sent);
-        if (c.ordered() && key >= 0) {
-            orderedRequests.computeIfAbsent(key, k -> new ArrayList<>()).add(sent);
+    /** Hands a request in without ending the turn. */
+    String accept(int requestClass, long orderKey, long destination) {
+        String id = String.format("%016x", ++submitted);
+        RequestClass type = settings.classes().get(requestClass);
+        long deadline = now + (long) (type.deadlineNs() * patience);
+        PolicyRequest request = new PolicyRequest(id, requestClass, 0, orderKey, deadline, destination, patience < 1);
+        SubmittedRequest entry = new SubmittedRequest(request, type);
+        requests.put(id, entry);
+        unfinished.put(id, entry);
+        if (entry.isOrdered()) {
+            byOrderingKey.computeIfAbsent(orderKey, key -> new ArrayList<>()).add(entry);
         }
-        policy.request(now, m);
+        policy.request(now, request);
         return id;
     }
 
-    List<Attempt> out() {
+    /** All attempts in flight. */
+    List<Attempt> inFlight() {
         List<Attempt> all = new ArrayList<>();
-        active.values().forEach(s -> all.addAll(s.out));
+        unfinished.values().forEach(entry -> all.addAll(entry.inFlight));
         return all;
     }
 
-    Attempt only(String id) {
-        assertEquals(1, messages.get(id).out.size(), "attempts out for " + id);
-        return messages.get(id).out.get(0);
+    Attempt onlyAttempt(String id) {
+        assertEquals(1, requests.get(id).inFlight.size(), "attempts in flight for " + id);
+        return requests.get(id).inFlight.get(0);
     }
 
-    boolean sent(String id) {
-        return !messages.get(id).out.isEmpty();
+    boolean isInFlight(String id) {
+        return !requests.get(id).inFlight.isEmpty();
     }
 
-    String end(String id) {
-        return messages.get(id).end;
+    /** The final outcome, or null. */
+    String outcome(String id) {
+        return requests.get(id).outcome;
     }
 
+    void assertAllAnswered() {
+        requests.values().forEach(entry -> assertNotNull(entry.outcome, () -> "unanswered " + entry.request));
+    }
+
+    long delivered() {
+        return requests.values().stream()
+                .filter(entry -> "delivered".equals(entry.outcome))
+                .count();
+    }
+
+    /** Answers the one attempt in flight and ends the turn. */
     void answer(String id, AttemptResult result) {
-        answer(only(id), result, 0);
-        policy.turnEnd(now);
+        answer(onlyAttempt(id), result, 0);
+        endTurn();
+    }
+
+    /** Answers every attempt in flight alike and ends the turn; returns how many. */
+    int answerAll(AttemptResult result) {
+        List<Attempt> attempts = inFlight();
+        attempts.forEach(attempt -> answer(attempt, result, 0));
+        endTurn();
+        return attempts.size();
     }
 
-    void answer(Attempt a, AttemptResult result, long waitNs) {
-        Sent s = messages.get(a.id());
-        s.out.remove(a);
+    /** Answers an attempt without ending the turn. */
+    void answer(Attempt attempt, AttemptResult result, long retryAfterNs) {
+        SubmittedRequest entry = requests.get(attempt.id());
+        entry.inFlight.remove(attempt);
         if (!result.neverRan && result != AttemptResult.DELIVERED) {
-            if (!s.maybeRan) {
-                s.maybeRan = true;
-                s.firstMaybe = a.start();
-                s.zone = listed.get(a.endpoint()).zone();
-            }
-            if (s.cls.ordered() && result != AttemptResult.ERROR) {
-                rests.merge(s.msg.orderKey(), now + settings.keyRestNs(), Math::max);
-            }
+            noteUncertain(entry, attempt, result);
         }
-        if (result == AttemptResult.DELIVERED && s.end == null) {
-            end(s, "delivered");
+        if (result == AttemptResult.DELIVERED && entry.outcome == null) {
+            finish(entry, "delivered");
         }
-        if (waitNs > 0) {
-            waits.merge(route(a.endpoint()), now + waitNs, Math::max);
+        if (retryAfterNs > 0) {
+            retryAfterUntil.merge(route(attempt.endpoint()), now + retryAfterNs, Math::max);
         }
         policy.outcome(
                 now,
                 new CompletedAttempt(
-                        a.id(),
-                        a.number(),
-                        a.endpoint(),
+                        attempt.id(),
+                        attempt.number(),
+                        attempt.endpoint(),
                         result,
-                        now - a.start(),
-                        waitNs,
+                        now - attempt.start(),
+                        retryAfterNs,
                         false,
-                        s.end != null,
+                        entry.outcome != null,
                         report));
     }
 
-    private String route(String endpoint) {
-        ListedEndpoint e = listed.get(endpoint);
-        return settings.kinds().get(e.kind()).routesApart() ? endpoint : "d" + e.destination();
+    private void noteUncertain(SubmittedRequest entry, Attempt attempt, AttemptResult result) {
+        if (!entry.mayHaveRun) {
+            entry.mayHaveRun = true;
+            entry.firstUncertainStart = attempt.start();
+            entry.firstUncertainZone = listed.get(attempt.endpoint()).zone();
+        }
+        if (entry.requestClass.ordered() && result != AttemptResult.ERROR) {
+            keyRestsUntil.merge(entry.request.orderKey(), now + settings.keyRestNs(), Math::max);
+        }
+    }
+
+    private String route(String address) {
+        ListedEndpoint endpoint = listed.get(address);
+        return settings.kinds().get(endpoint.kind()).routesApart() ? address : "d" + endpoint.destination();
     }
 
-    /** Lets time pass in steps of the host's round: timers fire, attempts reach their time-out. */
-    void pass(long ns) {
+    /** Moves the clock in ticks: timers fire, cancellations take effect, attempts time out. */
+    void advance(long ns) {
         long until = now + ns;
         while (now < until) {
-            now = Math.min(until, now + 5 * MS);
-            boolean turn = false;
-            while (!timers.isEmpty() && timers.firstKey() <= now) {
-                for (long token : timers.pollFirstEntry().getValue()) {
-                    policy.timer(now, token);
-                    turn = true;
-                }
+            now = Math.min(until, now + TICK_NS);
+            boolean timersFired = fireTimers();
+            boolean cancelled = endCancelled();
+            boolean timedOut = endTimedOut();
+            if (timersFired || cancelled || timedOut) {
+                endTurn();
             }
-            for (String[] c : List.copyOf(cancels)) {
-                for (Attempt a : List.copyOf(messages.get(c[0]).out)) {
-                    if (a.number() == Integer.parseInt(c[1])) {
-                        answer(a, AttemptResult.CANCELLED, 0);
-                        turn = true;
-                    }
-                }
+            unfinished.values().removeIf(entry -> entry.outcome != null && entry.inFlight.isEmpty());
+            for (SubmittedRequest entry : unfinished.values()) {
+                boolean owed = entry.outcome == null && now > entry.request.deadline() + MAX_LATENESS_NS;
+                assertFalse(owed, () -> "overdue answer for " + entry.request);
             }
-            cancels.clear();
-            for (Attempt a : out()) {
-                if (now >= a.stopAt()) {
-                    answer(a, AttemptResult.TIMEOUT, 0);
-                    turn = true;
-                }
+        }
+    }
+
+    private boolean fireTimers() {
+        boolean fired = false;
+        while (!timers.isEmpty() && timers.firstKey() <= now) {
+            for (long token : timers.pollFirstEntry().getValue()) {
+                policy.timer(now, token);
+                fired = true;
             }
-            if (turn) {
-                policy.turnEnd(now);
+        }
+        return fired;
+    }
+
+    private boolean endCancelled() {
+        boolean ended = false;
+        for (Cancellation cancellation : List.copyOf(cancellations)) {
+            for (Attempt attempt : List.copyOf(requests.get(cancellation.id()).inFlight)) {
+                if (attempt.number() == cancellation.attempt()) {
+                    answer(attempt, AttemptResult.CANCELLED, 0);
+                    ended = true;
+                }
             }
-            active.values().removeIf(s -> s.end != null && s.out.isEmpty());
-            for (Sent s : active.values()) {
-                assertTrue(s.end != null || now <= s.msg.deadline() + 20 * MS, "overdue answer for " + s.msg);
+        }
+        cancellations.clear();
+        return ended;
+    }
+
+    private boolean endTimedOut() {
+        boolean ended = false;
+        for (Attempt attempt : inFlight()) {
+            if (now >= attempt.stopAt()) {
+                answer(attempt, AttemptResult.TIMEOUT, 0);
+                ended = true;
             }
         }
+        return ended;
     }
 
-    private void end(Sent s, String how) {
-        assertEquals(null, s.end, "second final answer for " + s.msg);
-        s.end = how;
-        s.endedAt = now;
+    private void finish(SubmittedRequest entry, String outcome) {
+        assertEquals(null, entry.outcome, "second final outcome for " + entry.request);
+        entry.outcome = outcome;
+        entry.endedAt = now;
     }
 
     @Override
-    public void send(String id, String endpoint, long stopAt) {
-        trace.add(now + " send " + id + " " + endpoint);
-        Sent s = messages.get(id);
-        assertNotNull(s, "unknown message");
-        assertEquals(null, s.end, "sent after its end");
-        ListedEndpoint e = listed.get(endpoint);
-        assertNotNull(e, "unlisted endpoint");
-        assertEquals(s.msg.destination(), e.destination(), "endpoint of another destination");
-        assertTrue(s.attempts < settings.maxAttempts(), "too many attempts");
-        assertTrue(now <= leftAt.getOrDefault(endpoint, Long.MAX_VALUE / 2) + settings.drainGraceNs(), "drained");
-        assertTrue(now >= waits.getOrDefault(route(endpoint), 0L), "Retry-After not heeded");
-        assertTrue(settings.mayHedge() || s.out.isEmpty(), "second copy");
-        if (s.maybeRan && s.cls.idempotency() != Idempotency.SAFE) {
-            assertEquals(Idempotency.KEYED, s.cls.idempotency(), "unsafe message sent again");
-            assertTrue(now < s.firstMaybe + s.cls.keyWindowNs(), "key forgotten");
-            assertTrue(!s.cls.keyPerZone() || e.zone() == s.zone, "other zone");
+    public void send(String id, String address, long stopAt) {
+        trace.add(now + " send " + id + " " + address);
+        SubmittedRequest entry = requests.get(id);
+        assertNotNull(entry, "unknown request");
+        assertEquals(null, entry.outcome, "sent after its final outcome");
+        ListedEndpoint endpoint = listed.get(address);
+        assertNotNull(endpoint, "unlisted endpoint");
+        assertEquals(entry.request.destination(), endpoint.destination(), "endpoint of another destination");
+        assertTrue(entry.attempts < settings.maxAttempts(), "too many attempts");
+        long drainedAt = unreadySince.getOrDefault(address, Long.MAX_VALUE / 2) + settings.drainGraceNs();
+        assertTrue(now <= drainedAt, "drained");
+        assertTrue(now >= retryAfterUntil.getOrDefault(route(address), 0L), "Retry-After not heeded");
+        assertTrue(settings.mayHedge() || entry.inFlight.isEmpty(), "second copy");
+        if (entry.mayHaveRun && entry.requestClass.idempotency() != Idempotency.SAFE) {
+            assertMayRunAgain(entry, endpoint);
         }
-        if (s.cls.ordered() && s.msg.orderKey() >= 0) {
-            for (Sent earlier : orderedRequests.get(s.msg.orderKey())) {
-                if (earlier == s) {
-                    break;
-                }
-                assertTrue(earlier.end != null && earlier.out.isEmpty(), "overtook an earlier message");
-            }
-            assertTrue(now >= rests.getOrDefault(s.msg.orderKey(), 0L), "key not rested");
+        if (entry.isOrdered()) {
+            assertNextOfItsKey(entry);
         }
-        Attempt a = new Attempt(id, s.attempts++, endpoint, now, Math.min(stopAt, s.msg.deadline()));
-        s.out.add(a);
-        if (settings.kinds().stream().allMatch(k -> k.batch() == 1)) {
-            assertTrue(out().size() <= settings.slots(), "more calls than slots");
+        long timeoutAt = Math.min(stopAt, entry.request.deadline());
+        entry.inFlight.add(new Attempt(id, entry.attempts++, address, now, timeoutAt));
+        if (settings.kinds().stream().allMatch(kind -> kind.batch() == 1)) {
+            assertTrue(inFlight().size() <= settings.slots(), "more calls than slots");
+        }
+    }
+
+    private void assertMayRunAgain(SubmittedRequest entry, ListedEndpoint endpoint) {
+        assertEquals(Idempotency.KEYED, entry.requestClass.idempotency(), "unsafe request sent again");
+        assertTrue(now < entry.firstUncertainStart + entry.requestClass.keyWindowNs(), "key forgotten");
+        assertTrue(!entry.requestClass.keyPerZone() || endpoint.zone() == entry.firstUncertainZone, "other zone");
+    }
+
+    private void assertNextOfItsKey(SubmittedRequest entry) {
+        for (SubmittedRequest earlier : byOrderingKey.get(entry.request.orderKey())) {
+            if (earlier == entry) {
+                break;
+            }
+            assertTrue(earlier.outcome != null && earlier.inFlight.isEmpty(), "overtook an earlier request");
         }
+        assertTrue(now >= keyRestsUntil.getOrDefault(entry.request.orderKey(), 0L), "key not rested");
     }
 
     @Override
     public void cancel(String id, int attempt) {
         trace.add(now + " cancel " + id + " " + attempt);
-        assertTrue(attempt < messages.get(id).attempts, "cancelled an attempt never made");
-        cancels.add(new String[] {id, Integer.toString(attempt)});
+        assertTrue(attempt < requests.get(id).attempts, "cancelled an attempt never made");
+        cancellations.add(new Cancellation(id, attempt));
     }
 
     @Override
     public void reject(String id, long retryAfterNs) {
         trace.add(now + " refuse " + id + " " + retryAfterNs);
-        Sent s = messages.get(id);
+        SubmittedRequest entry = requests.get(id);
         assertTrue(retryAfterNs >= 0 && retryAfterNs <= settings.maxRetryAfterNs(), "retry-after out of range");
-        assertTrue(s.out.isEmpty(), "refused with an attempt out");
+        assertTrue(entry.inFlight.isEmpty(), "refused with an attempt in flight");
+        Idempotency idempotency = entry.requestClass.idempotency();
+        boolean keyOfOneZone = idempotency == Idempotency.KEYED && entry.requestClass.keyPerZone();
         assertFalse(
-                s.maybeRan
-                        && (s.cls.idempotency() == Idempotency.UNSAFE
-                                || (s.cls.idempotency() == Idempotency.KEYED && s.cls.keyPerZone())),
+                entry.mayHaveRun && (idempotency == Idempotency.UNSAFE || keyOfOneZone),
                 "refused though it may have run");
-        end(s, "refused");
+        finish(entry, "refused");
     }
 
     @Override
     public void fail(String id) {
         trace.add(now + " fail " + id);
-        end(messages.get(id), "failed");
+        finish(requests.get(id), "failed");
     }
 
     @Override
     public void timer(long token, long afterNs) {
         assertTrue(afterNs > 0);
         timersSet++;
-        timers.computeIfAbsent((now + afterNs) / 1000 * 1000, k -> new ArrayList<>())
-                .add(token);
+        long due = (now + afterNs) / TIMER_RESOLUTION_NS * TIMER_RESOLUTION_NS;
+        timers.computeIfAbsent(due, time -> new ArrayList<>()).add(token);
     }
 
     @Override
@@ -326,7 +368,7 @@
     @Override
     public void subscribe() {
         trace.add(now + " subscribe");
-        subscribes++;
+        subscriptions++;
     }
 
     @Override
--- a/src/test/java/elderseam/policy/PropertyTest.java
+++ b/src/test/java/elderseam/policy/PropertyTest.java
@@ -11,74 +11,115 @@
 
 /** Random legal events; the harness asserts the rules at every action. */
 class PropertyTest {
+    private static final int STEPS = 600;
+    private static final int STEPS_OF_AN_OUTAGE = 100;
+
     private long delivered;
 
-    private List<String> run(long seed) {
-        SplittableRandom random = new SplittableRandom(seed);
-        boolean apart = random.nextInt(3) == 0;
-        DestinationKind kind = new DestinationKind(apart, random.nextInt(3) == 0 ? 4 : 1);
-        PolicyTestHarness harness = new PolicyTestHarness(
-                PolicyTestHarness.settings(1 + random.nextInt(12), kind, random.nextBoolean()), seed);
-        int dests = 1 + random.nextInt(4);
-        for (int d = 0; d < dests; d++) {
-            harness.list(
-                    ListUpdateKind.CHANGES,
-                    PolicyTestHarness.endpoint("a:" + d, d, 0, EndpointStatus.READY),
-                    PolicyTestHarness.endpoint("b:" + d, d, 1, EndpointStatus.READY));
+    /** A host whose clients, endpoints and discovery act at random, the same for the same seed. */
+    private static final class RandomHost {
+        private final SplittableRandom random;
+        private final PolicyTestHarness harness;
+        private final int destinations;
+
+        RandomHost(long seed) {
+            random = new SplittableRandom(seed);
+            boolean apart = random.nextInt(3) == 0;
+            DestinationKind kind = new DestinationKind(apart, random.nextInt(3) == 0 ? 4 : 1);
+            int slots = 1 + random.nextInt(12);
+            harness = new PolicyTestHarness(PolicyTestHarness.settings(slots, kind, random.nextBoolean()), seed);
+            destinations = 1 + random.nextInt(4);
+            for (int id = 0; id < destinations; id++) {
+                harness.list(
+                        ListUpdateKind.CHANGES,
+                        PolicyTestHarness.ready("a:" + id, id, 0),
+                        PolicyTestHarness.ready("b:" + id, id, 1));
+            }
         }
-        for (int step = 0; step < 600; step++) {
-            int failing = step / 100 % (dests + 2);
-            if (random.nextInt(3) == 0) {
-                harness.patience = random.nextInt(4) == 0 ? 0.02 + 0.5 * random.nextDouble() : 1;
-                harness.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(dests));
+
+        private boolean oneIn(int times) {
+            return random.nextInt(times) == 0;
+        }
+
+        void step(int step) {
+            if (oneIn(3)) {
+                submit();
             }
-            if (random.nextInt(150) == 0) { // replaced in bulk, or an old list after a gap
-                String suffix = random.nextBoolean() ? "" : ":" + step;
-                ListedEndpoint[] all = new ListedEndpoint[dests];
-                for (int d = 0; d < dests; d++) {
-                    all[d] = PolicyTestHarness.endpoint("a:" + d + suffix, d, 0, EndpointStatus.READY);
-                }
-                harness.list(random.nextBoolean() ? ListUpdateKind.COMPLETE : ListUpdateKind.CACHED, all);
+            if (oneIn(150)) {
+                replaceList(step);
             }
-            for (PolicyTestHarness.Attempt a : harness.out()) {
-                int roll = random.nextInt(100);
-                boolean ill = harness.messages.get(a.id()).msg.destination() == failing;
-                if (roll < 25 && !ill) {
-                    harness.answer(a, AttemptResult.DELIVERED, 0);
-                } else if (roll < (ill ? 30 : 28)) {
-                    AttemptResult r = AttemptResult.values()[1 + random.nextInt(AttemptResult.values().length - 1)];
-                    boolean cancelled = r == AttemptResult.CANCELLED || r == AttemptResult.TIMEOUT;
-                    harness.answer(
-                            a,
-                            cancelled ? AttemptResult.RESET : r,
-                            r == AttemptResult.FULL && random.nextBoolean() ? random.nextInt(3000) * MS : 0);
-                }
+            int failing = step / STEPS_OF_AN_OUTAGE % (destinations + 2);
+            for (PolicyTestHarness.Attempt attempt : harness.inFlight()) {
+                boolean fails = harness.requests.get(attempt.id()).request.destination() == failing;
+                answer(attempt, fails);
             }
-            if (random.nextInt(80) == 0) {
-                String side = random.nextBoolean() ? "a:" : "b:";
-                EndpointStatus to = EndpointStatus.values()[random.nextInt(3)];
-                int d = random.nextInt(dests);
-                harness.list(
-                        ListUpdateKind.CHANGES, PolicyTestHarness.endpoint(side + d, d, side.equals("a:") ? 0 : 1, to));
+            if (oneIn(80)) {
+                changeOneEndpoint();
+            }
+            if (oneIn(60)) {
+                withdrawOldest();
             }
-            if (random.nextInt(60) == 0) {
-                harness.messages.values().stream()
-                        .filter(m -> m.end == null)
-                        .findFirst()
-                        .ifPresent(m -> {
-                            m.end = "withdrawn";
-                            harness.policy.withdrawn(harness.now, m.msg.id());
-                        });
+            harness.endTurn();
+            harness.advance(5 * MS * (1 + random.nextInt(20)));
+        }
+
+        private void submit() {
+            harness.patience = oneIn(4) ? 0.02 + 0.5 * random.nextDouble() : 1;
+            harness.submit(random.nextInt(3), random.nextInt(6) - 1, random.nextInt(destinations));
+        }
+
+        /** Replaces the endpoints in bulk, or goes back to an old list after a gap. */
+        private void replaceList(int step) {
+            String suffix = random.nextBoolean() ? "" : ":" + step;
+            ListedEndpoint[] all = new ListedEndpoint[destinations];
+            for (int id = 0; id < destinations; id++) {
+                all[id] = PolicyTestHarness.ready("a:" + id + suffix, id, 0);
+            }
+            harness.list(random.nextBoolean() ? ListUpdateKind.COMPLETE : ListUpdateKind.CACHED, all);
+        }
+
+        private void answer(PolicyTestHarness.Attempt attempt, boolean fails) {
+            int roll = random.nextInt(100);
+            if (roll < 25 && !fails) {
+                harness.answer(attempt, AttemptResult.DELIVERED, 0);
+            } else if (roll < (fails ? 30 : 28)) {
+                AttemptResult result = AttemptResult.values()[1 + random.nextInt(AttemptResult.values().length - 1)];
+                boolean byHost = result == AttemptResult.CANCELLED || result == AttemptResult.TIMEOUT;
+                boolean waits = result == AttemptResult.FULL && random.nextBoolean();
+                long retryAfterNs = waits ? random.nextInt(3000) * MS : 0;
+                harness.answer(attempt, byHost ? AttemptResult.RESET : result, retryAfterNs);
             }
-            harness.policy.turnEnd(harness.now);
-            harness.pass(5 * MS * (1 + random.nextInt(20)));
         }
-        harness.pass(30 * S);
-        harness.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
-        delivered += harness.messages.values().stream()
-                .filter(m -> "delivered".equals(m.end))
-                .count();
-        return harness.trace;
+
+        private void changeOneEndpoint() {
+            boolean first = random.nextBoolean();
+            EndpointStatus status = EndpointStatus.values()[random.nextInt(3)];
+            int id = random.nextInt(destinations);
+            String address = (first ? "a:" : "b:") + id;
+            harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint(address, id, first ? 0 : 1, status));
+        }
+
+        private void withdrawOldest() {
+            harness.requests.values().stream()
+                    .filter(request -> request.outcome == null)
+                    .findFirst()
+                    .ifPresent(request -> {
+                        request.outcome = "withdrawn";
+                        harness.policy.withdrawn(harness.now, request.request.id());
+                    });
+        }
+    }
+
+    /** The actions of a policy under the random events of that seed. */
+    private List<String> run(long seed) {
+        RandomHost host = new RandomHost(seed);
+        for (int step = 0; step < STEPS; step++) {
+            host.step(step);
+        }
+        host.harness.advance(30 * S);
+        host.harness.assertAllAnswered();
+        delivered += host.harness.delivered();
+        return host.harness.trace;
     }
 
     @Test
@@ -96,77 +137,58 @@
         }
     }
 
-    /** Many couriers with two slots against one limited destination that goes away and returns. */
+    /** Many senders with two slots against one limited destination that goes away and returns. */
     @Test
     void rulesHoldForManySmallSenders() {
-        int senders = 40;
-        PolicySettings s = PolicyTestHarness.settings(2, new DestinationKind(false, 1), true);
-        PolicySettings small = new PolicySettings(
-                s.classes(),
-                s.kinds(),
-                s.tenantRates(),
-                s.slots(),
-                12,
-                s.maxAttempts(),
-                senders,
-                0,
-                true,
-                1,
-                true,
-                false,
-                false,
-                WeightPrecision.ROUGH,
-                s.maxRetryAfterNs(),
-                s.drainGraceNs(),
-                s.coldRateRatio(),
-                s.warmUpNs(),
-                s.overloadMultiple(),
-                s.overloadNs(),
-                s.keyRestNs(),
-                s.connections(),
-                s.prices());
         SplittableRandom random = new SplittableRandom(11);
-        PolicyTestHarness[] rigs = new PolicyTestHarness[senders];
-        for (int i = 0; i < senders; i++) {
-            rigs[i] = new PolicyTestHarness(small, i);
-            rigs[i].list(
-                    ListUpdateKind.CACHED,
-                    new ListedEndpoint("a:1", 1, 0, 0, EndpointStatus.READY, 8),
-                    new ListedEndpoint("b:1", 2, 0, 0, EndpointStatus.READY, 8));
-        }
-        int onReturn = 0;
-        long done = 0;
-        for (int step = 0; step < 600; step++) { // 30 s: down from 5 s to 15 s, then cold at a quarter
+        PolicyTestHarness[] senders = smallSenders(40);
+        int callsOnReturn = 0;
+        for (int step = 0; step < STEPS; step++) { // 30 s: down from 5 s to 15 s, then cold at a quarter
             boolean down = step >= 100 && step < 300;
+            boolean returning = step >= 300 && step < 340;
             int room = random.nextInt(2);
-            for (PolicyTestHarness r : rigs) {
+            for (PolicyTestHarness sender : senders) {
                 if (random.nextInt(100) == 0) {
-                    r.submit(random.nextInt(3), random.nextInt(4) - 1, 1 + random.nextInt(2));
+                    sender.submit(random.nextInt(3), random.nextInt(4) - 1, 1 + random.nextInt(2));
                 }
-                for (PolicyTestHarness.Attempt a : r.out()) {
-                    boolean failing = a.endpoint().equals("a:1");
-                    onReturn += failing && step >= 300 && step < 340 ? 1 : 0;
-                    boolean full = failing && !down && step > 300 && room-- <= 0;
-                    r.answer(
-                            a,
-                            failing && down
-                                    ? AttemptResult.CONNECT_FAILED
-                                    : full ? AttemptResult.FULL : AttemptResult.DELIVERED,
-                            0);
+                for (PolicyTestHarness.Attempt attempt : sender.inFlight()) {
+                    AttemptResult result = AttemptResult.DELIVERED;
+                    if (attempt.endpoint().equals("a:1")) {
+                        callsOnReturn += returning ? 1 : 0;
+                        boolean full = !down && step > 300 && room-- <= 0;
+                        result = down ? AttemptResult.CONNECT_FAILED : full ? AttemptResult.FULL : result;
+                    }
+                    sender.answer(attempt, result, 0);
                 }
-                r.policy.turnEnd(r.now);
-                r.pass(50 * MS);
+                sender.endTurn();
+                sender.advance(50 * MS);
             }
         }
-        for (PolicyTestHarness r : rigs) {
-            r.pass(30 * S);
-            r.messages.values().forEach(m -> assertTrue(m.end != null, "unanswered " + m.msg));
-            done += r.messages.values().stream()
-                    .filter(m -> "delivered".equals(m.end))
-                    .count();
+        long done = 0;
+        for (PolicyTestHarness sender : senders) {
+            sender.advance(30 * S);
+            sender.assertAllAnswered();
+            done += sender.delivered();
         }
         // what all send in the first 2 s after the return: some 5 of the traffic itself, and few of the parked
-        assertTrue(onReturn <= 20, onReturn + " calls in the first 2 s after the return");
+        assertTrue(callsOnReturn <= 20, callsOnReturn + " calls in the first 2 s after the return");
         assertTrue(done >= 120, done + " delivered");
     }
+
+    private static PolicyTestHarness[] smallSenders(int count) {
+        PolicySettings settings = PolicySettingsBuilder.with(2, new DestinationKind(false, 1), true)
+                .maxHeld(12)
+                .senderCount(count)
+                .weightPrecision(WeightPrecision.ROUGH)
+                .build();
+        PolicyTestHarness[] senders = new PolicyTestHarness[count];
+        for (int i = 0; i < count; i++) {
+            senders[i] = PolicyTestHarness.listing(
+                    settings,
+                    i,
+                    new ListedEndpoint("a:1", 1, 0, 0, EndpointStatus.READY, 8),
+                    new ListedEndpoint("b:1", 2, 0, 0, EndpointStatus.READY, 8));
+        }
+        return senders;
+    }
 }
--- a/src/test/java/elderseam/policy/ShedTest.java
+++ b/src/test/java/elderseam/policy/ShedTest.java
@@ -13,29 +13,30 @@
     /** Accepted requests are kept: a new one is rejected and may go to another dispatcher at once. */
     @Test
     void aNewRequestIsRejectedBeforeAcceptedOnes() {
-        PolicyTestHarness r = PolicyTestHarness.simple(1); // one call at a time: the rest waits
+        PolicyTestHarness harness = PolicyTestHarness.simple(1); // one call at a time: the rest waits
         List<String> taken = new ArrayList<>();
-        String last = r.submit(0, -1, 1);
-        while (r.end(last) == null) {
+        String last = harness.submit(0, -1, 1);
+        while (harness.outcome(last) == null) {
             taken.add(last);
-            assertTrue(taken.size() <= r.settings.maxHeld(), "one has to give way");
-            last = r.submit(0, -1, 1);
+            assertTrue(taken.size() <= harness.settings.maxHeld(), "one has to give way");
+            last = harness.submit(0, -1, 1);
         }
-        assertTrue(r.end(last).startsWith("refuse"), r.end(last));
-        taken.forEach(id -> assertNull(r.end(id), "it was accepted"));
+        assertTrue(harness.outcome(last).startsWith("refuse"), harness.outcome(last));
+        taken.forEach(id -> assertNull(harness.outcome(id), "it was accepted"));
     }
 
     /** One that another destination takes at once is not rejected for those that wait elsewhere. */
     @Test
     void theFullestDestinationGivesWayToOneThatNeedNotWait() {
-        PolicyTestHarness r = PolicyTestHarness.simple(4);
-        r.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 2, 0, EndpointStatus.READY));
+        PolicyTestHarness harness = PolicyTestHarness.simple(4);
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.ready("b:1", 2, 0));
         List<String> taken = new ArrayList<>();
-        for (String id = r.submit(0, -1, 1); r.end(id) == null; id = r.submit(0, -1, 1)) {
+        for (String id = harness.submit(0, -1, 1); harness.outcome(id) == null; id = harness.submit(0, -1, 1)) {
             taken.add(id);
         }
-        String other = r.submit(0, -1, 2);
-        assertTrue(r.sent(other), "its destination is free");
-        assertEquals(1, taken.stream().filter(id -> r.end(id) != null).count(), "one of the fullest made room");
+        String other = harness.submit(0, -1, 2);
+        assertTrue(harness.isInFlight(other), "its destination is free");
+        assertEquals(
+                1, taken.stream().filter(id -> harness.outcome(id) != null).count(), "one of the fullest made room");
     }
 }
--- a/src/test/java/elderseam/policy/SuccessionTest.java
+++ b/src/test/java/elderseam/policy/SuccessionTest.java
@@ -52,7 +52,7 @@
         PolicyTestHarness successor = new PolicyTestHarness(of.settings, 8);
         successor.now = of.now;
         successor.listed.putAll(of.listed);
-        successor.waits.putAll(of.waits);
+        successor.retryAfterUntil.putAll(of.retryAfterUntil);
         successor.policy.transfer(of.now, copy);
         assertTrue(copy.values.isEmpty(), "all that was written is read");
         return successor;
@@ -62,16 +62,16 @@
     void aRetryAfterAndAnOpenBreakerAreTakenOver() {
         PolicyTestHarness harness = PolicyTestHarness.simple(8);
         String id = harness.submit(0, -1, 1);
-        harness.answer(harness.only(id), AttemptResult.FULL, 5 * PolicyTestHarness.S);
-        harness.policy.turnEnd(harness.now);
+        harness.answer(harness.onlyAttempt(id), AttemptResult.FULL, 5 * PolicyTestHarness.S);
+        harness.endTurn();
         PolicyTestHarness successor = successor(harness);
         assertEquals(new EndpointCounts(1, 1), successor.policy.endpointCounts(successor.now));
         assertFalse(successor.policy.mayStart(successor.now, "none", "a:1"));
         String next = successor.submit(0, -1, 1); // the harness asserts that the wait is heeded
-        successor.pass(4 * PolicyTestHarness.S);
-        assertFalse(successor.sent(next));
-        successor.pass(8 * PolicyTestHarness.S);
-        assertTrue(successor.sent(next));
+        successor.advance(4 * PolicyTestHarness.S);
+        assertFalse(successor.isInFlight(next));
+        successor.advance(8 * PolicyTestHarness.S);
+        assertTrue(successor.isInFlight(next));
     }
 
     @Test
@@ -82,10 +82,10 @@
         }
         PolicyTestHarness successor = successor(harness);
         String id = successor.submit(0, -1, 1);
-        successor.pass(PolicyTestHarness.S);
-        assertFalse(successor.sent(id), "it sleeps");
-        successor.pass(4 * PolicyTestHarness.S);
-        assertTrue(successor.sent(id), "one trial");
+        successor.advance(PolicyTestHarness.S);
+        assertFalse(successor.isInFlight(id), "it sleeps");
+        successor.advance(4 * PolicyTestHarness.S);
+        assertTrue(successor.isInFlight(id), "one trial");
     }
 
     /** The older process's call holds ticket and slot here, and is not made again; its end counts as any other. */
@@ -93,50 +93,53 @@
     void anAttemptInFlightIsNotRepeated() {
         PolicyTestHarness harness = PolicyTestHarness.simple(1);
         String id = harness.submit(2, -1, 1);
-        PolicyTestHarness.Attempt out = harness.only(id);
+        PolicyTestHarness.Attempt out = harness.onlyAttempt(id);
         PolicyTestHarness successor = successor(harness);
-        PolicyTestHarness.Sent sent = harness.messages.get(id);
-        successor.messages.put(id, sent);
-        successor.active.put(id, sent);
-        successor.policy.restored(successor.now, sent.msg, 1, false, 0);
+        SubmittedRequest sent = harness.requests.get(id);
+        successor.requests.put(id, sent);
+        successor.unfinished.put(id, sent);
+        successor.policy.restored(successor.now, sent.request, 1, false, 0);
         successor.policy.adopted(successor.now, id, out.endpoint(), out.start());
-        successor.policy.turnEnd(successor.now);
+        successor.endTurn();
         PolicyRequest second =
                 new PolicyRequest("second", 0, 0, -1, successor.now + 20 * PolicyTestHarness.S, 1, false);
-        PolicyTestHarness.Sent waits =
-                new PolicyTestHarness.Sent(second, successor.settings.classes().get(0));
-        successor.messages.put("second", waits);
-        successor.active.put("second", waits);
+        SubmittedRequest waits =
+                new SubmittedRequest(second, successor.settings.classes().get(0));
+        successor.requests.put("second", waits);
+        successor.unfinished.put("second", waits);
         successor.policy.request(successor.now, second);
-        successor.pass(200 * PolicyTestHarness.MS);
-        assertFalse(successor.sent("second"), "the one slot is taken");
-        assertEquals(1, sent.out.size());
+        successor.advance(200 * PolicyTestHarness.MS);
+        assertFalse(successor.isInFlight("second"), "the one slot is taken");
+        assertEquals(1, sent.inFlight.size());
         successor.answer(id, AttemptResult.DELIVERED);
-        assertTrue(successor.sent("second"));
+        assertTrue(successor.isInFlight("second"));
     }
 
     /** One that is back after a drain may have been started anew: few calls at first, while its neighbour goes on as before. */
     @Test
     void aReturnedEndpointIsCold() {
         PolicyTestHarness harness = PolicyTestHarness.simple(40);
-        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("b:1", 1, 0, EndpointStatus.READY));
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.ready("b:1", 1, 0));
         harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.DRAINING));
-        harness.pass(100 * PolicyTestHarness.MS);
-        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
+        harness.advance(100 * PolicyTestHarness.MS);
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.ready("a:1", 1, 0));
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
-        long cold =
-                harness.out().stream().filter(a -> a.endpoint().equals("a:1")).count();
+        long cold = harness.inFlight().stream()
+                .filter(attempt -> attempt.endpoint().equals("a:1"))
+                .count();
         assertEquals(1, cold);
-        assertEquals(19, harness.out().size() - cold);
-        harness.out().forEach(a -> harness.answer(a, AttemptResult.DELIVERED, 0));
-        harness.pass(10 * PolicyTestHarness.S); // warm by the settings
+        assertEquals(19, harness.inFlight().size() - cold);
+        harness.inFlight().forEach(attempt -> harness.answer(attempt, AttemptResult.DELIVERED, 0));
+        harness.advance(10 * PolicyTestHarness.S); // warm by the settings
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
-        assertTrue(
-                harness.out().stream().filter(a -> a.endpoint().equals("a:1")).count() > 5);
+        assertTrue(harness.inFlight().stream()
+                        .filter(attempt -> attempt.endpoint().equals("a:1"))
+                        .count()
+                > 5);
     }
 
     /** Where it is the only one, its destination is caught up with step by step. */
@@ -147,12 +150,12 @@
         for (int i = 0; i < 20; i++) {
             harness.submit(0, -1, 1);
         }
-        harness.pass(100 * PolicyTestHarness.MS);
-        assertEquals(0, harness.out().size());
-        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.endpoint("a:1", 1, 0, EndpointStatus.READY));
-        harness.pass(100 * PolicyTestHarness.MS);
-        assertTrue(harness.out().size() <= 2, harness.out().size() + " calls at once to a cold one");
-        harness.pass(5 * PolicyTestHarness.S);
-        assertTrue(harness.out().size() > 2, "and never more");
+        harness.advance(100 * PolicyTestHarness.MS);
+        assertEquals(0, harness.inFlight().size());
+        harness.list(ListUpdateKind.CHANGES, PolicyTestHarness.ready("a:1", 1, 0));
+        harness.advance(100 * PolicyTestHarness.MS);
+        assertTrue(harness.inFlight().size() <= 2, harness.inFlight().size() + " calls at once to a cold one");
+        harness.advance(5 * PolicyTestHarness.S);
+        assertTrue(harness.inFlight().size() > 2, "and never more");
     }
 }
