--- a/src/main/java/elderseam/policy/RateController.java
+++ b/src/main/java/elderseam/policy/RateController.java
@@ -119,12 +119,6 @@
         tokens = estimate.isCrowded() ? 1 : 0;
     }
 
-    /** Begins a slow start without a call to begin with. */
-    void warmUpFromZero(long now) {
-        warmUp(now);
-        tokens = 0;
-    }
-
     void onSuccess() {
         pauseNs = 0;
     }
@@ -169,10 +163,10 @@
 
     /** An answer told the destination's limit and how much of it is left. */
     void onReport(LimitReport report, long now) {
-        if (report.limitPerS() <= 0) {
+        if (report.limitPerSecond() <= 0) {
             return;
         }
-        estimate.advertised = report.limitPerS();
+        estimate.advertised = report.limitPerSecond();
         limitReported = true;
         headroom = report.headroom() >= AMPLE_HEADROOM;
         if (report.headroom() < SCARCE_HEADROOM) {
