--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -1,7 +1,10 @@
 package elderseam.acme;
 
+import static elderseam.logging.LogField.error;
+
 import elderseam.http.HttpServer.Answerer;
 import elderseam.http.HttpServer.Request;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.io.Reader;
 import java.io.StringWriter;
@@ -48,6 +51,8 @@
  * one that they have, or not at all; half of the margin before theirs ends each orders for itself.
  */
 public final class CertificateManager {
+    private static final EventLogger LOG = EventLogger.of(CertificateManager.class);
+
     static {
         Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
@@ -150,7 +155,7 @@
                 pass();
             }
         } catch (AcmeException | IOException | GeneralSecurityException | RuntimeException e) {
-            System.err.println("certificates: " + e.getMessage());
+            LOG.warn("certificate.update_failed", error(e));
         } catch (InterruptedException e) {
             return;
         }
@@ -187,7 +192,7 @@
         put("key.pem", bundle.key());
         put("chain.pem", bundle.chain());
         passed = bytes;
-        System.err.println("certificates: another member's order is taken over");
+        LOG.info("certificate.received");
         return true;
     }
 
--- a/src/main/java/elderseam/app/ClassArchiveTraining.java
+++ b/src/main/java/elderseam/app/ClassArchiveTraining.java
@@ -1,11 +1,14 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+
 import elderseam.core.Clock;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,6 +27,8 @@
  * are rejected and wait; then it drains and exits by itself.
  */
 public final class ClassArchiveTraining {
+    private static final EventLogger LOG = EventLogger.of(ClassArchiveTraining.class);
+
     private static final int REQUESTS = 120;
     private static final long CLIENT_IDLE_NS = 10_000 * Clock.MS;
     private static final long START_DELAY_NS = 300 * Clock.MS;
@@ -170,7 +175,7 @@
                 Files.deleteIfExists(file);
             }
         } catch (IOException e) {
-            System.err.println("training: " + e); // what is left is in the temporary directory
+            LOG.warn("training.cleanup_failed", error(e)); // what is left is in the temporary directory
         }
     }
 }
--- a/src/main/java/elderseam/app/ClientDrain.java
+++ b/src/main/java/elderseam/app/ClientDrain.java
@@ -3,12 +3,15 @@
 import elderseam.core.Clock;
 import elderseam.core.Lifecycle;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 
 /**
  * An operator's drain (LAMEDUCK) as clients see it: requests are answered as before, and each connection is closed
  * after its answer or once it has stood idle. Nothing that is held ends by it. Confined to the I/O thread.
  */
 final class ClientDrain {
+    private static final EventLogger LOG = EventLogger.of(ClientDrain.class);
+
     /** Idle connections are closed from so long after the drain began on. */
     private static final long IDLE_GRACE_NS = 700 * Clock.MS;
 
@@ -27,7 +30,7 @@
 
     /** The drain has begun. */
     void begin() {
-        System.err.println("lame duck");
+        LOG.info("drain.started");
         listeners.closeAfterAnswer(true);
         if (!closingIdleConnections) {
             closingIdleConnections = true;
@@ -46,7 +49,7 @@
 
     /** The drain was taken back (REJOIN): connections are kept open again. */
     void cancel() {
-        System.err.println("back to work");
+        LOG.info("drain.cancelled");
         listeners.closeAfterAnswer(false);
     }
 }
--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.acme.CertificateManager;
 import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
@@ -13,6 +16,7 @@
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import javax.net.ssl.SSLContext;
 
@@ -21,6 +25,8 @@
  * Not loaded where the frontend is off and owes no outcome from an earlier process.
  */
 final class CloudEventsSetup {
+    private static final EventLogger LOG = EventLogger.of(CloudEventsSetup.class);
+
     private static final int MAX_CLIENTS = 64;
 
     /** CloudEvents clients have at most this part of all client connections. */
@@ -103,7 +109,7 @@
                 context,
                 frontend::handle);
         listeners.add(listener);
-        System.err.println("events on " + listener.address());
+        LOG.info("cloudevents.listening", field("address", listener.address()));
         return listener;
     }
 
@@ -138,7 +144,7 @@
                 secureListener.renew(context);
             }
         } catch (IOException e) {
-            System.err.println("events: " + e);
+            LOG.error("cloudevents.listen_failed", error(e));
         }
     }
 
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.control.CommandResult;
 import elderseam.control.ControlServer;
 import elderseam.control.OperatorCommand;
@@ -27,6 +29,7 @@
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
+import elderseam.logging.EventLogger;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
@@ -42,6 +45,8 @@
  * it is told to end. {@link #serve} runs on the starting thread; everything after it is confined to the I/O thread.
  */
 public final class DispatcherServer {
+    private static final EventLogger LOG = EventLogger.of(DispatcherServer.class);
+
     /** The longest endpoint list, and the longest answer of the platform, in bytes. */
     private static final int MAX_PLATFORM_ANSWER_BYTES = 1 << 20;
 
@@ -110,7 +115,7 @@
             e.faults().forEach(System.err::println);
             Runtime.getRuntime().halt(1);
         } catch (IOException | RuntimeException e) { // whatever it is, a dispatcher that has half begun must not stay
-            e.printStackTrace();
+            LOG.error("server.start_failed", e);
             Runtime.getRuntime().halt(1);
         }
     }
@@ -228,8 +233,10 @@
         } else {
             recover();
         }
-        System.err.println("serving on " + listeners.platformAddress() + ", " + dispatcher.requestsInFlight()
-                + " messages taken back");
+        LOG.info(
+                "server.listening",
+                field("address", listeners.platformAddress()),
+                field("requests_recovered", dispatcher.requestsInFlight()));
         if (startup.control() != null) {
             serveOperators(startup.control());
         }
@@ -297,8 +304,10 @@
     private void onReady() {
         lifecycle.markStarted();
         long readyAfterMs = (io.clock.now() - startup.startedNs()) / Clock.MS;
-        System.err.println(
-                "ready after " + readyAfterMs + " ms, away for " + io.longestAway() / Clock.MS + " ms at most");
+        LOG.info(
+                "server.ready",
+                field("after_ms", readyAfterMs),
+                field("longest_stall_ms", io.longestAway() / Clock.MS));
         if (startup.control() != null) {
             transfer.listen(config.state());
         }
@@ -314,7 +323,7 @@
                 fleet.hasLeases() ? fleet::answerFleet : null,
                 fleet.hasVersions() ? fleet::answerConfig : null);
         control.handler(command -> answer(operators, command));
-        System.err.println("control on " + control.address());
+        LOG.info("control.listening", field("address", control.address()));
     }
 
     private CommandResult answer(OperatorCommands operators, OperatorCommand command) {
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.selftest.FaultTestHistory;
@@ -13,6 +15,7 @@
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.policy.BreakerState;
 import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
@@ -28,6 +31,8 @@
  * suspect. Confined to the I/O thread; not loaded where gossip is off.
  */
 final class GossipService implements PartitionMembers {
+    private static final EventLogger LOG = EventLogger.of(GossipService.class);
+
     private static final Map<BreakerState, HealthReport.State> REPORTED_STATES = Map.of(
             BreakerState.CLOSED, HealthReport.State.CLOSED,
             BreakerState.HALF_OPEN, HealthReport.State.HALF_OPEN,
@@ -52,8 +57,8 @@
         this.dispatcher = dispatcher;
         this.configuration = GossipConfiguration.read(settings);
         this.appliesAdvice = appliesAdvice(settings);
-        GossipTransport.Ties callbacks =
-                new GossipTransport.Ties(this::ownReports, this::advise, text -> System.err.println("gossip: " + text));
+        GossipTransport.Ties callbacks = new GossipTransport.Ties(
+                this::ownReports, this::advise, text -> LOG.info("gossip.status", field("detail", text)));
         this.transport =
                 new GossipTransport(io, configuration.place(), configuration.keys(), GossipTimings.USUAL, callbacks);
         if (!settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
@@ -143,7 +148,7 @@
             appliesAdvice = appliesAdvice(fresh);
             transport.ceiling(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
             transport.roster(roster);
-            System.err.println("gossip: " + transport.counts());
+            LOG.info("gossip.counts", field("counts", transport.counts()));
         };
     }
 
--- a/src/main/java/elderseam/app/GracefulShutdown.java
+++ b/src/main/java/elderseam/app/GracefulShutdown.java
@@ -5,6 +5,7 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.frontend.platform.PlatformFrontend;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.util.concurrent.CountDownLatch;
 
 /**
@@ -14,6 +15,8 @@
  * but for {@link #await}.
  */
 final class GracefulShutdown {
+    private static final EventLogger LOG = EventLogger.of(GracefulShutdown.class);
+
     /** Clients may still connect for so long after SIGTERM. */
     static final long ACCEPT_GRACE_NS = 500 * Clock.MS;
 
@@ -87,7 +90,7 @@
         lifecycle.beginEnd();
         listeners.closeAfterAnswer(true);
         dispatcher.shutDownBy(settleDeadlineNs);
-        System.err.println("draining");
+        LOG.info("shutdown.started");
         io.at(startedNs + ACCEPT_GRACE_NS, () -> io.afterReading(this::stopAccepting));
     }
 
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.control.CommandResult;
 import elderseam.control.OperatorCommand;
 import elderseam.core.Clock;
@@ -16,6 +19,7 @@
 import elderseam.frontend.platform.EndpointList;
 import elderseam.frontend.platform.PlatformConfiguration;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -39,6 +43,8 @@
  * {@link #publish} may be called from any thread.
  */
 final class LeaseService {
+    private static final EventLogger LOG = EventLogger.of(LeaseService.class);
+
     /**
      * What the leased tasks act on.
      *
@@ -175,7 +181,7 @@
                 startGroup();
                 return;
             } catch (IOException | RuntimeException e) { // of the engine, whatever it may be: another attempt follows
-                System.err.println("fleet: not begun yet: " + e);
+                LOG.warn("lease.group_start_failed", error(e));
             }
             try {
                 Thread.sleep(START_RETRY_INTERVAL_MS);
@@ -206,7 +212,10 @@
         if (versions != null) {
             versions.groupStarted(started);
         }
-        System.err.println("fleet: " + started.holderId() + " on " + settings.get(SettingKeys.FLEET_LISTEN));
+        LOG.info(
+                "lease.group_started",
+                field("holder", started.holderId()),
+                field("address", settings.get(SettingKeys.FLEET_LISTEN)));
         if (!settings.get(SettingKeys.REHEARSAL_STORE).equals("off")) {
             startTestWorkload(started.holderId());
         }
@@ -261,7 +270,7 @@
         @Override
         public void leaderChanged(String newLeader) {
             leader = newLeader;
-            System.err.println("fleet: led by " + newLeader);
+            LOG.info("lease.leader_changed", field("leader", newLeader));
         }
 
         @Override
@@ -322,12 +331,19 @@
 
     private static CommandResult changeMembers(LeaseGroup group, Map<String, InetSocketAddress> members) {
         String names = String.join(" ", members.keySet());
-        var unused = group.changeMembers(members)
-                .whenComplete((done, failure) -> System.err.println("fleet: members " + names
-                        + (failure == null ? " agreed" : ": not agreed: " + failure.getMessage())));
+        var unused = group.changeMembers(members).whenComplete((done, failure) -> logMemberChange(names, failure));
         return CommandResult.yes("asked; FLEET tells when it is so");
     }
 
+    /** {@code failure} is null where the group has agreed. */
+    private static void logMemberChange(String names, Throwable failure) {
+        if (failure == null) {
+            LOG.info("lease.members_changed", field("members", names));
+        } else {
+            LOG.warn("lease.members_change_failed", field("members", names), error(failure));
+        }
+    }
+
     private List<String> status(LeaseGroup startedGroup) throws IOException {
         List<String> lines = new ArrayList<>();
         lines.add("self=" + startedGroup.holderId());
@@ -369,7 +385,7 @@
                 started.close();
             }
         } catch (IOException e) {
-            System.err.println("fleet: " + e);
+            LOG.warn("lease.group_close_failed", error(e));
         }
     }
 }
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import elderseam.acme.CertificateManager;
@@ -9,6 +12,7 @@
 import elderseam.fleet.lease.LeaseOwner;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
+import elderseam.logging.EventLogger;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -27,6 +31,8 @@
  * is called on the certificates' thread, the rest on any.
  */
 final class LeasedCertificateOrder implements SharedCertificateOrder {
+    private static final EventLogger LOG = EventLogger.of(LeasedCertificateOrder.class);
+
     /** The lease's name in the group is this and the certificate's first name. */
     private static final String LEASE_PREFIX = "certificate:";
 
@@ -94,8 +100,7 @@
         LeaseOwner owner = LeaseOwner.of(lease().isPresent(), heldByAnother);
         boolean orders = task.isOrderedHere(now.toEpochMilli(), lastAt.toEpochMilli(), owner);
         if (orders) {
-            System.err.println(
-                    "fleet: orders the certificate" + (lease().isEmpty() ? " by itself: nobody else has" : ""));
+            LOG.info("certificate.order_started", field("holds_lease", lease().isPresent()));
         }
         return orders;
     }
@@ -122,7 +127,7 @@
                     leases.publish(leaseName, lease.get(), value).get(PUBLISH_TIMEOUT_S, TimeUnit.SECONDS);
             return outcome.granted();
         } catch (ExecutionException | TimeoutException | IOException | IllegalArgumentException e) {
-            System.err.println("fleet: the certificate is not passed on: " + e.getMessage());
+            LOG.warn("certificate.publish_failed", error(e));
             return false;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -142,7 +147,7 @@
                 served.heard(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
             }
         } catch (IOException e) {
-            System.err.println("fleet: a certificate that was passed on can't be used: " + e.getMessage());
+            LOG.warn("certificate.received_unusable", error(e));
         }
     }
 }
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -1,11 +1,14 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+
 import elderseam.core.Clock;
 import elderseam.core.JsonValue;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
 import elderseam.fleet.lease.LeasedTask;
 import elderseam.frontend.platform.DiscoveryWatcher;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -15,6 +18,8 @@
  * from there. Confined to the I/O thread.
  */
 final class LeasedDiscoveryWatch {
+    private static final EventLogger LOG = EventLogger.of(LeasedDiscoveryWatch.class);
+
     /** The lease's name in the group. */
     static final String LEASE = "discovery";
 
@@ -54,7 +59,7 @@
         try {
             latestList = JsonValue.read(list.getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
-            System.err.println("fleet: a list that can't be read: " + e.getMessage());
+            LOG.warn("discovery.published_list_invalid", error(e));
             return;
         }
         task.onPublished(clock.now());
@@ -70,10 +75,10 @@
         }
         watches = shouldWatch;
         if (watches) {
-            System.err.println("fleet: watches discovery");
+            LOG.info("discovery.watch_started");
             discovery.resume();
         } else {
-            System.err.println("fleet: another watches discovery");
+            LOG.info("discovery.watch_delegated");
             discovery.passOn();
             discovery.heard(latestList);
         }
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.AdmissionRules;
 import elderseam.core.Journal;
 import elderseam.core.RequestDispatcher;
@@ -9,6 +12,7 @@
 import elderseam.frontend.platform.PlatformFrontend;
 import elderseam.http.EndpointAddress;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.rules.RuleLoader;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
@@ -24,6 +28,8 @@
  * asks; what a reading returns makes it effective, on the I/O thread, to which everything else here is confined.
  */
 final class LiveConfiguration implements VersionReader {
+    private static final EventLogger LOG = EventLogger.of(LiveConfiguration.class);
+
     /** The operator's rules; none of their classes is loaded while there are none. */
     interface ReloadableRules extends AdmissionRules {
         /** Reads the rules that fresh settings name; the result applies them, on the I/O thread. */
@@ -111,9 +117,10 @@
             moveDiscovery(effective);
             applyFleet.run();
             applyRules.run();
-            System.err.println("configuration read again, discovery at "
-                    + discoveryAddress(effective).address()
-                    + (needRestart.isEmpty() ? "" : "; waits for the next start: " + String.join(", ", needRestart)));
+            LOG.info(
+                    "reload.applied",
+                    field("needs_restart", needRestart.isEmpty() ? "none" : String.join(",", needRestart)),
+                    field("discovery", discoveryAddress(effective).address()));
         };
     }
 
@@ -179,7 +186,7 @@
             useRules(rules);
             guardRules();
         } catch (IOException e) {
-            System.err.println("rules: not taken: " + e.getMessage());
+            LOG.warn("rules.rejected", error(e));
         }
     }
 }
--- a/src/main/java/elderseam/app/OperatorSettings.java
+++ b/src/main/java/elderseam/app/OperatorSettings.java
@@ -1,6 +1,9 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.frontend.cloudevents.EventConfiguration;
+import elderseam.logging.EventLogger;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -12,6 +15,8 @@
  * the CloudEvents frontend alone.
  */
 final class OperatorSettings {
+    private static final EventLogger LOG = EventLogger.of(OperatorSettings.class);
+
     private static final String LEGACY_SUFFIX = ".properties";
 
     /** A file's settings: those of the CloudEvents frontend, and all of them (none, for a legacy file). */
@@ -22,8 +27,7 @@
     /** Reads the file of either format; an IOException (a SettingsFault for its content) says what is wrong with it. */
     static Loaded load(Path file) throws IOException {
         if (isLegacy(file)) {
-            System.err.println(file + ": an events' file of before, its settings are read; " + SettingKeys.FILE
-                    + " has taken its place");
+            LOG.warn("configuration.legacy_file", field("file", file), field("replaced_by", SettingKeys.FILE));
             return new Loaded(EventConfiguration.old(file), Settings.none());
         }
         Settings settings = settings(file);
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -7,6 +7,7 @@
 import elderseam.handover.HandoverReceiver;
 import elderseam.handover.OwnershipLock;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -17,6 +18,8 @@
  * still serves, as {@link HandoverReceiver} decides. Used on the starting thread, which it blocks.
  */
 final class OwnershipAcquisition {
+    private static final EventLogger LOG = EventLogger.of(OwnershipAcquisition.class);
+
     /** The directory is this process's. */
     sealed interface Ownership {
         /** Held. */
@@ -108,7 +111,7 @@
     }
 
     private void warmUp() throws InterruptedException {
-        System.err.println("another process serves; warming up beside it");
+        LOG.info("handover.warmup_started");
         CountDownLatch warmedUp = new CountDownLatch(1);
         io.run(() -> StandbyWarmup.run(io, config, warmedUp::countDown));
         warmedUp.await();
--- a/src/main/java/elderseam/app/OwnershipTransfer.java
+++ b/src/main/java/elderseam/app/OwnershipTransfer.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.Handover;
 import elderseam.handover.HandoverChannel;
@@ -8,6 +11,7 @@
 import elderseam.handover.HandoverSender;
 import elderseam.handover.OwnershipLock;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +25,8 @@
  * it.
  */
 final class OwnershipTransfer {
+    private static final EventLogger LOG = EventLogger.of(OwnershipTransfer.class);
+
     /** What is transferred. Called on the I/O thread. */
     interface Service {
         /**
@@ -70,13 +76,13 @@
     /** Newer processes may ask from now on. Where no socket is possible the dispatcher serves on without. */
     void listen(Path stateDirectory) {
         if (!HandoverChannel.isSupported(stateDirectory)) {
-            System.err.println("no upgrade under load: the path of " + stateDirectory + " is too long for a socket");
+            LOG.warn("handover.unavailable", field("error", "the path is too long for a socket: " + stateDirectory));
             return;
         }
         try {
             listener = HandoverListener.open(stateDirectory, this::receiveFrames);
         } catch (IOException e) {
-            System.err.println("no upgrade under load: " + e);
+            LOG.warn("handover.unavailable", error(e));
         }
     }
 
@@ -108,12 +114,12 @@
     }
 
     private void transfer() {
-        System.err.println("passing on");
+        LOG.info("handover.started");
         HandoverFrame.StateTransfer state = service.suspend(this::onAttemptEnded);
         try {
             lock.release();
         } catch (IOException e) { // the newer process will not get the lock, and gives up
-            System.err.println("upgrade: " + e);
+            LOG.warn("handover.lock_release_failed", error(e));
         }
         successor.send(state);
     }
@@ -126,12 +132,12 @@
     }
 
     private void retire() {
-        System.err.println("passed on");
+        LOG.info("handover.confirmed");
         endedAttempts.clear();
         try {
             listener.close();
         } catch (IOException e) {
-            System.err.println("upgrade: " + e);
+            LOG.warn("handover.listener_close_failed", error(e));
         }
         service.retire(successor::isFlushed);
     }
@@ -142,12 +148,12 @@
         }
         switch (sender.onChannelClosed()) {
             case RESUME -> {
-                System.err.println("the newer process failed; going on");
+                LOG.warn("handover.rolled_back");
                 successor = null;
                 relock(io.clock.now() + RELOCK_LIMIT_NS);
             }
             case FAIL -> {
-                System.err.println("the newer process ended; this one has passed its work on, and ends too");
+                LOG.error("handover.successor_lost");
                 Runtime.getRuntime().halt(1);
             }
             case NONE, TRANSFER, RETIRE -> {
@@ -169,10 +175,10 @@
                 return;
             }
         } catch (IOException e) {
-            System.err.println("upgrade: " + e);
+            LOG.warn("handover.lock_failed", error(e));
         }
         if (io.clock.now() > deadlineNs) {
-            System.err.println("upgrade: another process owns the folder; this one ends");
+            LOG.error("handover.lock_lost");
             Runtime.getRuntime().halt(1);
         }
         io.at(io.clock.now() + RELOCK_INTERVAL_NS, () -> relock(deadlineNs));
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.BreakerState;
@@ -9,6 +11,7 @@
 import elderseam.frontend.platform.EndpointList;
 import elderseam.gossip.HealthReport;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
@@ -24,6 +27,8 @@
  * it is off.
  */
 final class PartitionService {
+    private static final EventLogger LOG = EventLogger.of(PartitionService.class);
+
     private static final long CHECK_INTERVAL_NS = 250 * Clock.MS;
 
     /** A probe that is another member's turn is put off for so long: two checks, so the next one comes in time. */
@@ -102,7 +107,7 @@
             return;
         }
         if (newDivisor != divisor || present.size() != memberNames.size()) {
-            System.err.println("shares: " + present.size() + " members, limits are divided by " + newDivisor);
+            LOG.info("partition.changed", field("members", present.size()), field("limit_divisor", newDivisor));
         }
         divisor = newDivisor;
         memberNames = present;
--- a/src/main/java/elderseam/app/ReloadTrigger.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -1,6 +1,10 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -22,6 +26,8 @@
  * arrives: then the files are polled instead, and a change of one counts as the signal.
  */
 final class ReloadTrigger {
+    private static final EventLogger LOG = EventLogger.of(ReloadTrigger.class);
+
     /** Reads a configuration. */
     interface Reader {
         /** Reads all there is to read; the result applies it, and is run on the thread that owns what it changes. */
@@ -55,13 +61,13 @@
     static void install(Reader reader, Consumer<Runnable> applier, List<Path> files) {
         try {
             if (!handleHangUp(reader, applier)) {
-                System.err.println("SIGHUP is ignored by whoever started this: its files are looked at instead");
+                LOG.warn("reload.signal_ignored", field("poll_interval_ms", POLL_INTERVAL_NS / Clock.MS));
                 Thread poller = new Thread(() -> poll(reader, applier, files), "reload");
                 poller.setDaemon(true);
                 poller.start();
             }
         } catch (ReflectiveOperationException e) {
-            System.err.println("no reload on SIGHUP: " + e);
+            LOG.warn("reload.unavailable", error(e));
         }
     }
 
@@ -113,7 +119,7 @@
             String.valueOf(e.getMessage())
                     .lines()
                     .limit(MAX_LOGGED_FAULTS)
-                    .forEach(fault -> System.err.println("configuration kept, the new one can't be used: " + fault));
+                    .forEach(fault -> LOG.warn("reload.rejected", field("fault", fault)));
         }
     }
 }
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.FinalOutcome;
@@ -8,6 +10,8 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.core.SettingsMap;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
+import elderseam.logging.LogField;
 import elderseam.policy.PolicySettings;
 import elderseam.policy.RequestClass;
 import elderseam.rules.IdempotencyKeyScheme;
@@ -30,6 +34,8 @@
  * and no keys of earlier ones.
  */
 final class RulesSetup implements LiveConfiguration.ReloadableRules {
+    private static final EventLogger LOG = EventLogger.of(RulesSetup.class);
+
     private static final long FORGET_INTERVAL_NS = 60_000 * Clock.MS;
 
     private final IoLoop io;
@@ -52,7 +58,7 @@
             return Optional.empty();
         }
         RuleLoader.Loaded loaded = RuleLoader.load(files, RuleLimits.of(operator), names(settings));
-        loaded.warnings().forEach(System.err::println);
+        loaded.warnings().forEach(warning -> LOG.warn("rules.suspicious", field("warning", warning)));
         return Optional.of(loaded);
     }
 
@@ -83,7 +89,7 @@
                 policySettings.maxRetryAfterNs(),
                 policySettings.maxHeld(),
                 new DispatcherRuleEnvironment(io.clock, dispatcher, policySettings),
-                text -> System.err.println(text));
+                text -> LOG.warn("rules.evaluation_failed", field("error", text)));
         rememberEarlierSchemes(schemeOf(loaded));
         if (!apply(loaded)) {
             throw new IOException("rules: the journal has no room for what their keys stand on");
@@ -130,15 +136,17 @@
     }
 
     private void logApplied(Optional<RuleLoader.Loaded> loaded) {
-        String rules = loaded.map(RulesSetup::summary).orElse("none");
-        int earlier = rememberedSchemes;
-        System.err.println(
-                "rules: " + rules + (earlier > 0 ? ", keys of " + earlier + " earlier readings are remembered" : ""));
-    }
-
-    private static String summary(RuleLoader.Loaded loaded) {
-        return loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
-                + loaded.bound() + " units a request";
+        LogField remembered = field("earlier_key_schemes", rememberedSchemes);
+        if (loaded.isEmpty()) {
+            LOG.info("rules.absent", remembered);
+            return;
+        }
+        LOG.info(
+                "rules.applied",
+                remembered,
+                field("rules", loaded.get().book().rules()),
+                field("examples", loaded.get().examples().size()),
+                field("max_cost", loaded.get().bound()));
     }
 
     private void forgetOldSchemes() {
@@ -157,10 +165,9 @@
                             + RuleEngine.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
         }
         return () -> {
-            System.err.println("rules: " + engine.counts());
+            LOG.info("rules.counts", field("counts", engine.counts()));
             if (!apply(loaded)) {
-                System.err.println(
-                        "rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
+                LOG.warn("rules.rejected", field("error", "the journal has no room for what their keys depend on"));
             }
         };
     }
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+
+import elderseam.core.BreakerListener;
 import elderseam.core.InMemoryJournalStore;
 import elderseam.core.Journal;
 import elderseam.core.Lifecycle;
@@ -12,6 +15,7 @@
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -22,6 +26,8 @@
  * thread.
  */
 final class StandbyWarmup {
+    private static final EventLogger LOG = EventLogger.of(StandbyWarmup.class);
+
     private static final int MAX_CONNECTIONS = 4;
     private static final long IDLE_NS = 1;
     private static final int JOURNAL_BYTES = 1 << 20;
@@ -39,15 +45,15 @@
                 onDone.run();
             });
         } catch (IOException | RuntimeException e) { // whatever it is, a cold takeover is better than none
-            System.err.println("standby: not warm: " + e);
+            LOG.warn("handover.warmup_failed", error(e));
             onDone.run();
         }
     }
 
     private static PlatformFrontend dispatcher(IoLoop io, PlatformConfiguration config) throws IOException {
         Journal journal = new Journal(new InMemoryJournalStore(), JOURNAL_BYTES, io.clock);
-        RequestDispatcher dispatcher =
-                new RequestDispatcher(config.settings().settings(), config.seed(), journal, io.clock, io, text -> {});
+        RequestDispatcher dispatcher = new RequestDispatcher(
+                config.settings().settings(), config.seed(), journal, io.clock, io, BreakerListener.NONE);
         EndpointList endpoints = new EndpointList(config.settings());
         EndpointConnectionPool connections =
                 new EndpointConnectionPool(io, IDLE_NS, MAX_CONNECTIONS, PlatformFrontend.MOST_BODY);
--- a/src/main/java/elderseam/app/TransferableDispatcher.java
+++ b/src/main/java/elderseam/app/TransferableDispatcher.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.Handover;
 import elderseam.core.Lifecycle;
@@ -11,6 +14,7 @@
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -21,6 +25,8 @@
  * retired. Client requests go through here, to the frontend or to the successor. Confined to the I/O thread.
  */
 final class TransferableDispatcher implements OwnershipTransfer.Service {
+    private static final EventLogger LOG = EventLogger.of(TransferableDispatcher.class);
+
     /** So long clients of a process that has transferred its work may stay connected. */
     private static final long RETIRE_LIMIT_NS = 10_000 * Clock.MS;
 
@@ -82,7 +88,7 @@
             listeners.resumeAccepting();
             fleet.join();
         } catch (IOException e) { // the address is another process's: this one can't serve any more
-            System.err.println("upgrade: " + e);
+            LOG.error("handover.resume_failed", error(e));
             Runtime.getRuntime().halt(1);
         }
         SuccessorProxy suspended = successor;
@@ -120,7 +126,7 @@
         boolean quiet = dispatcher.attemptsInFlight() == 0 && successor.quiet() && listeners.hasNoConnections();
         boolean overdue = io.clock.now() > exitDeadlineNs;
         if (overdue || (quiet && resultsSent.getAsBoolean())) {
-            System.err.println("left");
+            LOG.info("handover.completed", field("attempts_in_flight", dispatcher.attemptsInFlight()));
             Runtime.getRuntime().halt(0);
         }
         io.at(io.clock.now() + GracefulShutdown.POLL_INTERVAL_NS, this::exitOnceDone);
--- a/src/main/java/elderseam/app/VersionCommands.java
+++ b/src/main/java/elderseam/app/VersionCommands.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.control.CommandResult;
 import elderseam.control.OperatorCommand;
 import elderseam.fleet.config.ConfigurationVersion;
@@ -7,6 +9,7 @@
 import elderseam.fleet.config.VersionTable;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseStateMachine;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,6 +23,8 @@
  * only begun there; its result shows in a later CONFIG.
  */
 final class VersionCommands {
+    private static final EventLogger LOG = EventLogger.of(VersionCommands.class);
+
     private final LeaseGroup group;
     private final String member;
     private final ActiveVersion active;
@@ -132,13 +137,13 @@
             refuse(hash, outcome.refusal());
         } else {
             refusal = "";
-            System.err.println("versions: proposal " + hash + " is looked at");
+            LOG.info("configuration.proposal_submitted", field("hash", hash));
         }
     }
 
     private void refuse(String hash, String why) {
         refusal = hash + " " + why;
-        System.err.println("versions: proposal " + hash + " refused: " + why);
+        LOG.warn("configuration.proposal_refused", field("hash", hash), field("reason", why));
     }
 
     private List<String> status(LeaseStateMachine.VersionView applied) {
--- a/src/main/java/elderseam/app/VersionConfirmer.java
+++ b/src/main/java/elderseam/app/VersionConfirmer.java
@@ -1,11 +1,14 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+
 import elderseam.core.Clock;
 import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionStore;
 import elderseam.fleet.config.VersionTable;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseStateMachine;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -16,6 +19,8 @@
  * what is proposed, confirms, and stores what is committed. It waits for the group and for nothing else.
  */
 final class VersionConfirmer {
+    private static final EventLogger LOG = EventLogger.of(VersionConfirmer.class);
+
     /** Confirmations sent within the bound: one answer may be lost, and one late. */
     private static final int CONFIRMATIONS_PER_BOUND = 4;
 
@@ -85,7 +90,7 @@
                 return;
             } catch (IOException
                     | RuntimeException e) { // the next round may succeed; until then the member is in doubt
-                System.err.println("versions: " + e);
+                LOG.warn("configuration.confirmation_failed", error(e));
             }
             LockSupport.parkNanos(intervalNs);
         }
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -1,5 +1,8 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
+
 import elderseam.control.CommandResult;
 import elderseam.control.OperatorCommand;
 import elderseam.core.AdmissionRules;
@@ -9,6 +12,8 @@
 import elderseam.fleet.config.VersionStore;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
+import elderseam.logging.LogField;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -23,6 +28,8 @@
  * <p>Confined to the I/O thread, but for {@link #groupStarted} and {@link #onNews}, which any thread may call.
  */
 final class VersionService {
+    private static final EventLogger LOG = EventLogger.of(VersionService.class);
+
     private static final long CHECK_INTERVAL_NS = 20 * Clock.MS;
 
     private static final String STORE_DIRECTORY = "versions";
@@ -69,7 +76,7 @@
         if (last.number() > 0) {
             loader.read(last).run();
         }
-        System.err.println("versions: " + VersionLabels.named(last) + ", in doubt until it is confirmed");
+        LOG.info("configuration.version_restored", field("number", last.number()), field("hash", last.shortHash()));
         recordActive();
         check();
     }
@@ -112,12 +119,17 @@
     }
 
     private void logDoubt(boolean inDoubt) {
-        String state = "sure of " + VersionLabels.named(active());
+        LogField fault = field("fault", active.fault().isEmpty() ? "none" : active.fault());
         if (inDoubt) {
-            state = "in doubt, " + (rejectsInDoubt ? "new work is refused" : "the last one is acted on");
+            LOG.warn("configuration.version_in_doubt", field("rejects_requests", rejectsInDoubt), fault);
+        } else {
+            ConfigurationVersion version = active();
+            LOG.info(
+                    "configuration.version_confirmed",
+                    field("number", version.number()),
+                    field("hash", version.shortHash()),
+                    fault);
         }
-        String fault = active.fault();
-        System.err.println("versions: " + state + (fault.isEmpty() ? "" : ": " + fault));
     }
 
     /** It passed this member's check, or the member was away: what is wrong with it now counts. */
@@ -127,11 +139,19 @@
             loader.read(version).run();
             folder.saveActing(version);
             active.fault("");
-            System.err.println("versions: acts on " + VersionLabels.named(version) + " by " + version.author() + ": "
-                    + version.note());
+            LOG.info(
+                    "configuration.version_activated",
+                    field("number", version.number()),
+                    field("hash", version.shortHash()),
+                    field("author", version.author()),
+                    field("note", version.note()));
         } catch (IOException e) {
             active.fault(VersionLabels.firstLine(e, ""));
-            System.err.println("versions: can't act on " + VersionLabels.named(version) + ": " + e.getMessage());
+            LOG.warn(
+                    "configuration.version_activation_failed",
+                    field("number", version.number()),
+                    field("hash", version.shortHash()),
+                    error(e));
         }
         recordActive();
     }
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -2,6 +2,7 @@
 
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -23,6 +24,8 @@
  * may stay open are bounded; a caller that stalls is a buffer and a timer on the I/O thread, and delays nobody.
  */
 public final class ControlServer {
+    private static final EventLogger LOG = EventLogger.of(ControlServer.class);
+
     private static final int MOST_OPEN = 24; // then the oldest gives way
     private static final long OPEN_NS = 6_000 * Clock.MS; // for the line to be there, and the answer taken
 
@@ -110,7 +113,7 @@
             try {
                 verdict = handler.apply(command);
             } catch (RuntimeException e) { // one caller's fault must not reach the thread
-                e.printStackTrace();
+                LOG.error("control.command_failed", e);
                 verdict = CommandResult.no("a fault of this program; its log has it");
             }
             answer(verdict);
--- a/src/main/java/elderseam/core/JournalLog.java
+++ b/src/main/java/elderseam/core/JournalLog.java
@@ -1,5 +1,8 @@
 package elderseam.core;
 
+import static elderseam.logging.LogField.error;
+
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 
 /**
@@ -7,6 +10,8 @@
  * live is written to a new file that takes its place. Confined to the event-loop thread.
  */
 final class JournalLog {
+    private static final EventLogger LOG = EventLogger.of(JournalLog.class);
+
     private final JournalStore store;
     private final long capacity;
     private final JournalIndex index;
@@ -42,7 +47,7 @@
             size += record.length;
             return true;
         } catch (IOException e) {
-            System.err.println("journal: " + e);
+            LOG.warn("journal.write_failed", error(e));
             return false; // what was half written stays behind the end and is written over
         }
     }
@@ -92,7 +97,7 @@
         try {
             compact();
         } catch (IOException e) {
-            System.err.println("journal: " + e);
+            LOG.warn("journal.compaction_failed", error(e));
         }
     }
 }
--- a/src/main/java/elderseam/core/JournalRecordDecoder.java
+++ b/src/main/java/elderseam/core/JournalRecordDecoder.java
@@ -1,5 +1,8 @@
 package elderseam.core;
 
+import static elderseam.logging.LogField.field;
+
+import elderseam.logging.EventLogger;
 import java.io.DataInputStream;
 import java.io.IOException;
 
@@ -8,6 +11,8 @@
  * handler.
  */
 final class JournalRecordDecoder {
+    private static final EventLogger LOG = EventLogger.of(JournalRecordDecoder.class);
+
     private final Clock clock;
     private final JournalRecordHandler handler;
 
@@ -35,7 +40,7 @@
             case JournalRecordFormat.NOTIFIED -> handler.notified(id);
             case JournalRecordFormat.SCHEME -> handler.scheme(id, readBytes(in), recordBytes);
             case JournalRecordFormat.DRAIN -> handler.drain(id, in.readBoolean(), recordBytes);
-            default -> System.err.println("journal: unknown record " + type);
+            default -> LOG.warn("journal.record_unknown", field("type", type));
         }
     }
 
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -37,15 +36,15 @@
 
     private final PolicySettings settings;
     private final DispatchPolicy policy;
-    private final Consumer<String> log;
+    private final BreakerListener breakers;
     private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private long now;
     private boolean eventsPending;
 
-    /** {@code seed}: of the policy's random choices; {@code log}: receives its log lines. */
-    PolicyFacade(PolicySettings settings, long seed, Consumer<String> log) {
-        this.log = log;
+    /** {@code seed}: of the policy's random choices; {@code breakers}: told of their changes. */
+    PolicyFacade(PolicySettings settings, long seed, BreakerListener breakers) {
+        this.breakers = breakers;
         this.settings = settings;
         this.policy = new DispatchPolicy(settings, seed, new DecisionRecorder());
     }
@@ -280,8 +279,13 @@
         }
 
         @Override
-        public void log(String line) {
-            log.accept(line);
+        public void breakerOpened(String breaker, String cause) {
+            breakers.opened(breaker, cause);
+        }
+
+        @Override
+        public void breakerClosed(String breaker) {
+            breakers.closed(breaker);
         }
     }
 }
--- a/src/main/java/elderseam/core/PolicySnapshots.java
+++ b/src/main/java/elderseam/core/PolicySnapshots.java
@@ -1,5 +1,8 @@
 package elderseam.core;
 
+import static elderseam.logging.LogField.error;
+
+import elderseam.logging.EventLogger;
 import elderseam.policy.PolicySettings;
 import java.io.IOException;
 import java.util.Optional;
@@ -9,6 +12,8 @@
  * logged and otherwise harmless: the state is a help, not a debt. Confined to the event-loop thread.
  */
 public final class PolicySnapshots {
+    private static final EventLogger LOG = EventLogger.of(PolicySnapshots.class);
+
     /** A disk smaller than this is left to the journal. */
     private static final long MIN_DISK_BYTES = 1 << 20;
 
@@ -51,7 +56,7 @@
                 restore(new PolicySnapshotCodec.Reader(saved.get(), clock, true));
             }
         } catch (IOException e) {
-            System.err.println("what was learned is not taken up: " + e);
+            LOG.warn("snapshot.restore_failed", error(e));
         }
         save();
     }
@@ -68,7 +73,7 @@
             store = new PolicySnapshotStore(journal.aside(STORE_NAME), settingsShape());
             scheduleSave();
         } catch (IOException e) {
-            System.err.println("what was learned is not kept: " + e);
+            LOG.warn("snapshot.save_failed", error(e));
         }
     }
 
@@ -83,7 +88,7 @@
             try {
                 store.save(snapshot.bytes());
             } catch (IOException e) {
-                System.err.println("what was learned is not kept: " + e);
+                LOG.warn("snapshot.save_failed", error(e));
                 return;
             }
         }
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
@@ -45,17 +44,22 @@
     private final DecisionLoop decisions;
     private boolean recovering;
 
-    /** A dispatcher whose policy logs to standard error. */
+    /** A dispatcher that logs the changes of its policy's circuit breakers. */
     public RequestDispatcher(PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop) {
-        this(settings, seed, journal, clock, loop, line -> System.err.println("module: " + line));
+        this(settings, seed, journal, clock, loop, new BreakerLog());
     }
 
     /**
      * @param seed of the policy's random choices
-     * @param log receives the policy's log lines
+     * @param breakers told of changes of the policy's circuit breakers
      */
     public RequestDispatcher(
-            PolicySettings settings, long seed, Journal journal, Clock clock, EventLoop loop, Consumer<String> log) {
+            PolicySettings settings,
+            long seed,
+            Journal journal,
+            Clock clock,
+            EventLoop loop,
+            BreakerListener breakers) {
         this.settings = settings;
         this.journal = journal;
         this.clock = clock;
@@ -63,7 +67,7 @@
         this.drains = new OperatorDrains(journal.drainedEndpoints());
         this.metrics = new Metrics(settings.classes().size());
         this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics);
-        this.policy = new PolicyFacade(settings, seed, log);
+        this.policy = new PolicyFacade(settings, seed, breakers);
         this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics);
         this.handover = new Handover(this, attempts, policy, journal, clock, loop);
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
--- a/src/main/java/elderseam/fleet/lease/RatisSettings.java
+++ b/src/main/java/elderseam/fleet/lease/RatisSettings.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.client.RaftClientConfigKeys;
 import org.apache.ratis.conf.RaftProperties;
@@ -15,9 +13,6 @@
 
 /** Settings of the consensus engine, Apache Ratis over Netty TCP ({@link LeaseRpc}), for a small table with short commands. */
 final class RatisSettings {
-    /** The engine logs every setting it reads at INFO. The logger is referenced here because loggers are held weakly. */
-    private static final Logger ENGINE_LOGGER = Logger.getLogger("org.apache.ratis");
-
     private static final String SHADED_NETTY_PROPERTY_PREFIX = "org.apache.ratis.thirdparty.io.netty.";
 
     /**
@@ -38,7 +33,6 @@
 
     /** Sets what holds for the whole process; call before the first class of the engine is loaded. Idempotent. */
     static void applyToProcess() {
-        ENGINE_LOGGER.setLevel(Level.WARNING);
         NETTY_DEFAULTS.forEach((name, value) -> {
             String property = SHADED_NETTY_PROPERTY_PREFIX + name;
             if (System.getProperty(property) == null) {
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -1,5 +1,7 @@
 package elderseam.frontend.platform;
 
+import static elderseam.logging.LogField.error;
+
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
@@ -10,6 +12,7 @@
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
 import java.util.List;
@@ -20,6 +23,8 @@
  * fails otherwise is told as such, and the module says when to ask again.
  */
 public final class DiscoveryWatcher {
+    private static final EventLogger LOG = EventLogger.of(DiscoveryWatcher.class);
+
     private static final long WAIT_MS = 3_500; // a silent discovery shows after this
     private static final long ANSWER_NS =
             1_500 * Clock.MS; // and so much more for the answer: a second is left to ask anew
@@ -152,7 +157,7 @@
                 answered.run();
                 return;
             } catch (IOException e) {
-                System.err.println("discovery: " + e.getMessage());
+                LOG.warn("discovery.response_invalid", error(e));
             }
         }
         if (reply.failure() == Status.TIMED_OUT && reply.progress() == Progress.WRITTEN) {
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -1,5 +1,6 @@
 package elderseam.http;
 
+import elderseam.logging.EventLogger;
 import io.undertow.UndertowOptions;
 import io.undertow.io.Receiver;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
@@ -32,6 +33,8 @@
 
 /** The downstream side: takes whole requests, each answered once, now or later. */
 public final class HttpServer {
+    private static final EventLogger LOG = EventLogger.of(HttpServer.class);
+
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}"); // once: a request meets it
     /** A request, read to its end; the source is null where it is not known. */
     public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
@@ -245,7 +248,7 @@
         try {
             handler.handle(r, (code, headers, text) -> answer(x, code, headers, text));
         } catch (RuntimeException e) { // one stream's fault must not reach another
-            e.printStackTrace();
+            LOG.error("http.request_failed", e);
             if (!x.isResponseStarted()) {
                 answer(x, 500, Map.of(), "");
             }
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -1,8 +1,11 @@
 package elderseam.http;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.EventLoop;
 import elderseam.core.StallDetector;
+import elderseam.logging.EventLogger;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -26,6 +29,8 @@
  * lie there.
  */
 public final class IoLoop implements EventLoop {
+    private static final EventLogger LOG = EventLogger.of(IoLoop.class);
+
     private static final int BUFFER = 16 << 10, BUFFERS = 256, CACHED = 16;
     private static final long NOTEWORTHY_NS = 100 * Clock.MS;
 
@@ -117,7 +122,7 @@
         catchingUp = false;
         long ns = stallDetector.endStall();
         if (ns > NOTEWORTHY_NS) {
-            System.err.println("late: the I/O thread was away for " + ns / Clock.MS + " ms");
+            LOG.warn("io.stalled", field("duration_ms", ns / Clock.MS));
         }
         guarded(() -> away.accept(ns));
         for (int left = deferred.size(); left > 0; left--) {
@@ -170,12 +175,11 @@
         }
     }
 
-    @SuppressWarnings("CatchAndPrintStackTrace") // the loop goes on whatever a task throws, and the trace is its report
     private static void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            e.printStackTrace();
+        } catch (RuntimeException e) { // the loop goes on whatever a task throws
+            LOG.error("io.task_failed", e);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/logging/EventLogger.java
@@ -0,0 +1,79 @@
+package elderseam.logging;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes log events: one line {@code LEVEL event.name key=value ...} on standard error, written before the call
+ * returns. Thread-safe. For what happens seldom, not for each request.
+ */
+public final class EventLogger {
+    private static final String PROVIDER_PROPERTY = "slf4j.provider";
+    private static final String PROVIDER = "org.slf4j.simple.SimpleServiceProvider";
+
+    /** SLF4J announces a provider that is named at INFO. */
+    private static final String INTERNAL_VERBOSITY_PROPERTY = "slf4j.internal.verbosity";
+
+    static {
+        // Without a name SLF4J opens every jar of the class path in search of providers.
+        setDefault(PROVIDER_PROPERTY, PROVIDER);
+        setDefault(INTERNAL_VERBOSITY_PROPERTY, "WARN");
+    }
+
+    private final Logger logger;
+
+    private EventLogger(Logger logger) {
+        this.logger = logger;
+    }
+
+    /** The logger of a class, by whose name its level can be set. */
+    public static EventLogger of(Class<?> source) {
+        return new EventLogger(LoggerFactory.getLogger(source));
+    }
+
+    private static void setDefault(String property, String value) {
+        if (System.getProperty(property) == null) {
+            System.setProperty(property, value);
+        }
+    }
+
+    /** Logs what belongs to ordinary operation. */
+    public void info(String event, LogField... fields) {
+        if (logger.isInfoEnabled()) {
+            logger.info(line(event, fields));
+        }
+    }
+
+    /** Logs what an operator may have to look at, while the server goes on. */
+    public void warn(String event, LogField... fields) {
+        if (logger.isWarnEnabled()) {
+            logger.warn(line(event, fields));
+        }
+    }
+
+    /** Logs what ends the server, or that it has lost something. */
+    public void error(String event, LogField... fields) {
+        if (logger.isErrorEnabled()) {
+            logger.error(line(event, fields));
+        }
+    }
+
+    /** Logs a fault of the program; the stack trace follows the line. */
+    public void error(String event, Throwable thrown) {
+        if (logger.isErrorEnabled()) {
+            logger.error(line(event, LogField.error(thrown)), thrown);
+        }
+    }
+
+    private static String line(String event, LogField... fields) {
+        if (fields.length == 0) {
+            return event;
+        }
+        StringBuilder line = new StringBuilder(event);
+        for (LogField field : fields) {
+            line.append(' ');
+            field.appendTo(line);
+        }
+        return line.toString();
+    }
+}
--- a/src/main/java/elderseam/policy/CircuitBreaker.java
+++ b/src/main/java/elderseam/policy/CircuitBreaker.java
@@ -123,7 +123,7 @@
         trial = null;
         outageStart = outageStart == 0 ? now : outageStart;
         openUntil = Math.max(now + sleepWindowNs(now), rate.retryAfterUntil);
-        context.actions.log("open " + name + ": " + cause);
+        context.actions.breakerOpened(name, cause);
     }
 
     /**
@@ -145,6 +145,6 @@
         consecutiveFailures = 0;
         window.clear();
         rate.warmUp(now);
-        context.actions.log("closed " + name);
+        context.actions.breakerClosed(name);
     }
 }
--- a/src/main/java/elderseam/policy/PolicyActions.java
+++ b/src/main/java/elderseam/policy/PolicyActions.java
@@ -23,6 +23,14 @@
     /** Subscribes to changes of the endpoint list from now on. */
     void subscribe();
 
-    /** A change of state worth a line: which destination, why, and the figures behind it. */
-    void log(String text);
+    /**
+     * A circuit breaker has opened: a change of state worth a line in a log.
+     *
+     * @param breaker its destination, or {@code DESTINATION/ENDPOINT} where routes are apart
+     * @param cause why, with the figures behind it
+     */
+    void breakerOpened(String breaker, String cause);
+
+    /** A circuit breaker has closed, after a trial call that succeeded. */
+    void breakerClosed(String breaker);
 }
--- a/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -3,6 +3,7 @@
 import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptListener;
 import elderseam.core.AttemptSender;
+import elderseam.core.BreakerListener;
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
 import elderseam.core.EventLoop;
@@ -52,7 +53,8 @@
         Clock clock = new Virtual(place.time());
         try {
             Journal journal = new Journal(store, JOURNAL_BYTES, clock);
-            relay = new RequestDispatcher(Policies.settings(place.plan()), seed, journal, clock, this, words -> {});
+            relay = new RequestDispatcher(
+                    Policies.settings(place.plan()), seed, journal, clock, this, BreakerListener.NONE);
         } catch (IOException e) {
             throw new UncheckedIOException(e); // memory does not fail so
         }
--- a/src/main/java/elderseam/testkit/faults/ClusterMember.java
+++ b/src/main/java/elderseam/testkit/faults/ClusterMember.java
@@ -1,5 +1,6 @@
 package elderseam.testkit.faults;
 
+import elderseam.testkit.LogLine;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -23,14 +24,14 @@
     final String name;
     private final Path folder;
     private final Map<String, String> variables;
-    private final Consumer<String> log;
+    private final Consumer<LogLine> log;
     private Process process;
     private volatile CompletableFuture<String> serving, control;
     private long startedNs;
     private volatile long readyNs;
 
-    /** {@code folder} has its settings, {@code elderseam.ini}; {@code log} is told each line the process says. */
-    ClusterMember(String name, Path folder, Map<String, String> variables, Consumer<String> log) {
+    /** {@code folder} has its settings, {@code elderseam.ini}; {@code log} is given each event that the process logs. */
+    ClusterMember(String name, Path folder, Map<String, String> variables, Consumer<LogLine> log) {
         this.name = name;
         this.folder = folder;
         this.variables = variables;
@@ -80,15 +81,20 @@
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
-                if (line.startsWith("control on /")) {
-                    controls.complete(line.substring("control on /".length()));
-                } else if (line.startsWith("serving on /")) {
-                    at[0] = line.substring("serving on /".length(), line.indexOf(','));
-                } else if (line.startsWith("ready after ")) {
-                    readyNs = System.nanoTime();
-                    serves.complete(at[0]);
-                }
-                log.accept(line);
+                LogLine.parse(line).ifPresent(logged -> {
+                    switch (logged.event()) {
+                        case "control.listening" -> controls.complete(logged.field("address"));
+                        case "server.listening" -> at[0] = logged.field("address");
+                        case "server.ready" -> {
+                            readyNs = System.nanoTime();
+                            serves.complete(at[0]);
+                        }
+                        default -> {
+                            // no event that a start is seen by
+                        }
+                    }
+                    log.accept(logged);
+                });
             });
         } catch (IOException | UncheckedIOException e) {
             // the process was killed
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -42,9 +42,9 @@
     private static void processes(Map<String, Object> f, String word, ProcessCluster cluster) throws IOException {
         try (ProcessCluster c = cluster) {
             if (word.equals("on")) {
-                c.say(
-                        "fleet: ",
-                        "another watches discovery",
+                c.awaitLogged(
+                        "discovery.",
+                        "discovery.watch_delegated",
                         c.group().size() - 1,
                         System.nanoTime() + 30_000_000_000L);
             }
--- a/src/main/java/elderseam/testkit/faults/ProcessCluster.java
+++ b/src/main/java/elderseam/testkit/faults/ProcessCluster.java
@@ -1,6 +1,7 @@
 package elderseam.testkit.faults;
 
 import elderseam.fleet.selftest.FaultTestHistory;
+import elderseam.testkit.LogLine;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -60,8 +61,7 @@
     private final List<String> group = new ArrayList<>(); // who is in the lease group
     private volatile String leader = "", holder = "";
     private volatile FencedStore.Effect newest;
-    private final Object saying = new Object();
-    private final Map<String, List<String>> last = new LinkedHashMap<>(); // what each has said, under saying
+    private final Map<String, List<LogLine>> logged = new LinkedHashMap<>(); // by member; guarded by itself
     private int named;
     private final Queue<Process> started = new ConcurrentLinkedQueue<>();
     private final Thread ends = new Thread(() -> started.forEach(Process::destroyForcibly), "ends");
@@ -146,18 +146,18 @@
                         own.resolve("state").toString(),
                         "RELAY_CONFIG",
                         own.resolve("config.json").toString()),
-                line -> said(name, line));
+                line -> logged(name, line));
         members.put(name, m);
         return m;
     }
 
-    private void said(String name, String line) {
-        synchronized (saying) {
-            last.computeIfAbsent(name, n -> new ArrayList<>()).add(line);
-            saying.notifyAll();
+    private void logged(String name, LogLine line) {
+        synchronized (logged) {
+            logged.computeIfAbsent(name, n -> new ArrayList<>()).add(line);
+            logged.notifyAll();
         }
-        if (line.startsWith("fleet: led by ")) {
-            leader = line.substring("fleet: led by ".length());
+        if (line.is("lease.leader_changed")) {
+            leader = line.field("leader");
         }
     }
 
@@ -419,30 +419,34 @@
         return leader;
     }
 
-    /** Waits until so many living members' last word of those that begin with {@code about} is {@code word}; false where it is not by {@code byNs}. */
-    boolean say(String about, String word, long count, long byNs) throws IOException {
-        synchronized (saying) {
-            while (saying(about, word).size() < count) {
+    /**
+     * Waits until so many living members' last event of those whose names begin with {@code prefix} is {@code text}, its name
+     * and fields; false where it is not by {@code byNs}.
+     */
+    boolean awaitLogged(String prefix, String text, long count, long byNs) throws IOException {
+        synchronized (logged) {
+            while (lastLogged(prefix, text).size() < count) {
                 long left = (byNs - System.nanoTime()) / 1_000_000;
                 if (left <= 0) {
                     return false;
                 }
-                pauseOn(saying, left);
+                pauseOn(logged, left);
             }
             return true;
         }
     }
 
-    /** Whose last such word that is. */
-    List<String> saying(String about, String word) {
-        synchronized (saying) {
+    /** Whose last such event that is. */
+    List<String> lastLogged(String prefix, String text) {
+        synchronized (logged) {
             return group.stream()
                     .filter(g -> members.get(g).alive())
-                    .filter(g -> last.getOrDefault(g, List.of()).stream()
-                            .filter(l -> l.startsWith(about))
-                            .reduce((a, b) -> b)
+                    .filter(g -> logged.getOrDefault(g, List.of()).stream()
+                            .filter(line -> line.event().startsWith(prefix))
+                            .reduce((earlier, later) -> later)
+                            .map(LogLine::text)
                             .orElse("")
-                            .equals(about + word))
+                            .equals(text))
                     .toList();
         }
     }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -285,10 +285,15 @@
     }
 
     @Override
-    public void log(String words) {
+    public void breakerOpened(String breaker, String cause) {
         // a trial's own figures say more
     }
 
+    @Override
+    public void breakerClosed(String breaker) {
+        // likewise
+    }
+
     // ---------------------------------------------------------------- its part in the gossip
 
     @Override
--- a/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
+++ b/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
@@ -267,8 +267,18 @@
         }
 
         @Override
-        public void log(String words) {
-            line("LOG").append(' ').append(words).append('\n');
+        public void breakerOpened(String breaker, String cause) {
+            line("LOG")
+                    .append(" open ")
+                    .append(breaker)
+                    .append(": ")
+                    .append(cause)
+                    .append('\n');
+        }
+
+        @Override
+        public void breakerClosed(String breaker) {
+            line("LOG").append(" closed ").append(breaker).append('\n');
         }
     }
 }
--- a/src/main/java/org/xnio/nio/InheritedListener.java
+++ b/src/main/java/org/xnio/nio/InheritedListener.java
@@ -1,5 +1,8 @@
 package org.xnio.nio;
 
+import static elderseam.logging.LogField.error;
+
+import elderseam.logging.EventLogger;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
@@ -17,6 +20,8 @@
  * runs on the I/O thread.
  */
 public final class InheritedListener extends NioHandle {
+    private static final EventLogger LOG = EventLogger.of(InheritedListener.class);
+
     private static final int AT_ONCE = 64; // accepted before other sockets have their turn
 
     private final WorkerThread thread;
@@ -66,7 +71,7 @@
                 handOver(accepted);
             }
         } catch (IOException e) {
-            System.err.println("accept: " + e);
+            LOG.warn("http.accept_failed", error(e));
         }
     }
 
--- a/src/test/java/elderseam/figures/StartupMeasurements.java
+++ b/src/test/java/elderseam/figures/StartupMeasurements.java
@@ -5,6 +5,7 @@
 import elderseam.core.ActiveRequest;
 import elderseam.core.Clock;
 import elderseam.core.Journal;
+import elderseam.testkit.LogLine;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -123,14 +124,17 @@
         long ready = -1, away = 0;
         try (BufferedReader log = program.inputReader()) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
-                if (line.startsWith("ready after")) {
+                LogLine logged = LogLine.parse(line).orElse(null);
+                if (logged != null && logged.is("server.ready")) {
                     ready = System.nanoTime() - from;
                     CompletableFuture<Void> unused = program.onExit()
                             .completeOnTimeout(program, 1_500, TimeUnit.MILLISECONDS)
                             .thenRun(() -> stop(program, folder));
                 }
-                if (line.contains("away for ")) {
-                    away = Math.max(away, Long.parseLong(line.replaceAll(".*away for (\\d+) ms.*", "$1")));
+                if (logged != null && logged.is("server.ready")) {
+                    away = Math.max(away, Long.parseLong(logged.field("longest_stall_ms")));
+                } else if (logged != null && logged.is("io.stalled")) {
+                    away = Math.max(away, Long.parseLong(logged.field("duration_ms")));
                 }
             }
         } finally {
--- a/src/test/java/elderseam/policy/EmbeddingTest.java
+++ b/src/test/java/elderseam/policy/EmbeddingTest.java
@@ -50,8 +50,13 @@
         }
 
         @Override
-        public void log(String words) {
-            done.add("log");
+        public void breakerOpened(String breaker, String cause) {
+            done.add("breaker opened");
+        }
+
+        @Override
+        public void breakerClosed(String breaker) {
+            done.add("breaker closed");
         }
     };
 
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -330,7 +330,12 @@
     }
 
     @Override
-    public void log(String words) {
-        trace.add(now + " log " + words);
+    public void breakerOpened(String breaker, String cause) {
+        trace.add(now + " open " + breaker + ": " + cause);
+    }
+
+    @Override
+    public void breakerClosed(String breaker) {
+        trace.add(now + " closed " + breaker);
     }
 }
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -107,8 +107,8 @@
             s.run("""
                     platform watched 60000
                     relay hangup
-                    relay expect kept, the new one can't be used: {folder}/elderseam.ini:2: events.remember_s: 'never' can't be used
-                    relay expect {folder}/elderseam.ini:4: nonsense.a: unknown section
+                    relay expect reload.rejected fault="{folder}/elderseam.ini:2: events.remember_s: 'never' can't be used
+                    relay expect reload.rejected fault="{folder}/elderseam.ini:4: nonsense.a: unknown section
                     platform send h3 SERVING
                     platform watched 200
                     c send POST /rent-payment; {to} X-Txn: pay
@@ -125,7 +125,7 @@
             Files.writeString(
                     folder.resolve("elderseam.ini"),
                     "[events]\nlisten = off\nremember_s = 60\n[gossip]\nmost_bytes_per_s = 5000\n");
-            s.run("relay hangup\nrelay expect waits for the next start: events.listen\n");
+            s.run("relay hangup\nrelay expect reload.applied needs_restart=events.listen\n");
         }
     }
 
--- a/src/test/java/elderseam/scenario/RulesTest.java
+++ b/src/test/java/elderseam/scenario/RulesTest.java
@@ -207,7 +207,7 @@
             run(s, """
                     relay close kill
                     relay wait start
-                    relay expect keys of 2 earlier readings are remembered
+                    relay expect rules.applied earlier_key_schemes=2
                     c send POST /rent-payment; {org} X-Txn: three | {rent}
                     c expect 200
                     c send POST /rent-payment; {org} X-Txn: four | {"lease": 13, "month": "2026-12"}
@@ -330,7 +330,7 @@
         plays("[rule odd]\nwhen = body.n > 1\nrefuse = duration('1s')\n", """
                 c send POST /status-update; {org} X-Txn: a | no json
                 c expect 202
-                relay expect rule odd ended in an error: a body that is no JSON object (1 so far)
+                relay expect rules.evaluation_failed error="rules: rule odd ended in an error: a body that is no JSON object (1 so far)"
                 c send POST /status-update; {org} X-Txn: b | {"n": 2}
                 c expect 503
                 c send POST /status-update; {org} X-Txn: c | {"n": 2, "n": 0}
@@ -373,7 +373,7 @@
             Files.writeString(ini, without);
             run(s, """
                     relay hangup
-                    relay expect rules: none, keys of 1 earlier readings are remembered
+                    relay expect rules.absent earlier_key_schemes=1
                     e send {event} ce-type: rent-payment; ce-id: three | {rent}
                     e expect 200; delivered
                     h1 wait quiet 200
@@ -390,14 +390,14 @@
                     "[rule a]\nwhen = request.size == 2\nrefuse = duration('1s')\n[example one]\nrequest = POST /job-order\nbody = x\nexpect_refuse = 1s\n");
             run(s, """
                     relay hangup
-                    relay expect example.one.expect_refuse: expected 1s, got none (table rules: rule a does not match)
+                    relay expect reload.rejected fault= ... example.one.expect_refuse: expected 1s, got none (table rules: rule a does not match)
                     c send POST /status-update; {org} X-Txn: a | x
                     c expect 503
                     """);
             rules("[rule a]\nwhen = request.size == 2\nrefuse = duration('1s')\n");
             run(s, """
                     relay hangup
-                    relay expect 1 rules, 0 examples hold
+                    relay expect rules.applied earlier_key_schemes=0 rules=1 examples=0
                     c send POST /status-update; {org} X-Txn: a | x
                     c expect 202
                     c send POST /status-update; {org} X-Txn: b | xx
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -6,6 +6,7 @@
 
 import elderseam.handover.HandoverChannel;
 import elderseam.handover.HandoverFrame;
+import elderseam.testkit.LogLine;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -51,7 +52,7 @@
  * move       platform: listens elsewhere, and no longer answers on what was opened before
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
- * expect     relay: a line of its log, of this start and not passed over yet, holds these words
+ * expect     relay: a line of its log, of this start and not passed over yet, holds these parts (set apart by " ... ")
  *            relay: beside (another process on the same folder and address has taken over; this one is "older" from then on)
  * ask        operator: this line on the second address -> what the answer holds, each of these parts (set apart by ;)
  * wait       operator: as ask, again and again until the answer holds that
@@ -218,6 +219,10 @@
         }
     }
 
+    private static boolean containsAll(String line, String... parts) {
+        return Stream.of(parts).allMatch(line::contains);
+    }
+
     private void relay(String verb, String words) throws Exception {
         if (verb.equals("hangup")) {
             configure(words);
@@ -229,7 +234,7 @@
             do {
                 line = said.poll(RawHttpSocket.PATIENCE_S, TimeUnit.SECONDS);
                 assertNotNull(line, "the log does not say so");
-            } while (!line.contains(words));
+            } while (!containsAll(line, words.split(" \\.\\.\\. ")));
             return;
         }
         if (verb.equals("pause") || verb.equals("resume")) {
@@ -681,20 +686,18 @@
                 lines.forEach(line -> {
                     System.out.println("  | " + line);
                     words.add(line);
-                    if (line.startsWith("events on /")) {
-                        eventing.complete(line.substring(11));
-                    } else if (line.startsWith("control on /")) {
-                        operating.complete(line.substring(12));
-                    } else if (line.equals("draining")) {
-                        draining.complete(line);
-                    } else if (line.startsWith("configuration read again")) {
-                        reloaded.complete(line);
-                    } else if (line.startsWith("configuration kept")) {
-                        kept.complete(line);
-                    } else if (line.startsWith("serving on /")) {
-                        at[0] = line.substring(12, line.indexOf(','));
-                    } else if (line.startsWith("ready after ")) {
-                        serving.complete(at[0]);
+                    LogLine logged = LogLine.parse(line).orElse(null);
+                    switch (logged == null ? "" : logged.event()) {
+                        case "cloudevents.listening" -> eventing.complete(logged.field("address"));
+                        case "control.listening" -> operating.complete(logged.field("address"));
+                        case "shutdown.started" -> draining.complete(line);
+                        case "reload.applied" -> reloaded.complete(line);
+                        case "reload.rejected" -> kept.complete(line);
+                        case "server.listening" -> at[0] = logged.field("address");
+                        case "server.ready" -> serving.complete(at[0]);
+                        default -> {
+                            // another event, or a line of a stack trace
+                        }
                     }
                 });
             } catch (RuntimeException e) {
--- a/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
@@ -50,18 +50,20 @@
         try (ProcessCluster c = new ProcessCluster(
                 PLAN, folder.resolve("on"), new ProcessCluster.Setup(true, "discovery = one\n", true, true))) {
             assertTrue(
-                    c.say("fleet: ", "another watches discovery", 2, by(20)),
+                    c.awaitLogged("discovery.", "discovery.watch_delegated", 2, by(20)),
                     "two members leave the watch to the third");
             long one = callsIn(c, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
             allLearnOf(c, c.outside().grow());
             String watcher = c.group().stream()
-                    .filter(g ->
-                            !c.saying("fleet: ", "another watches discovery").contains(g))
+                    .filter(g -> !c.lastLogged("discovery.", "discovery.watch_delegated")
+                            .contains(g))
                     .findFirst()
                     .orElseThrow();
             c.befall(FaultInjection.parse(0, "crash " + watcher));
-            assertTrue(c.say("fleet: ", "watches discovery", 1, by(30)), "one of the others takes the watch over");
+            assertTrue(
+                    c.awaitLogged("discovery.", "discovery.watch_started", 1, by(30)),
+                    "one of the others takes the watch over");
             c.heal(true);
             allLearnOf(c, c.outside().grow());
             assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
--- a/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
+++ b/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
@@ -65,7 +65,9 @@
         }
         try (ProcessCluster c =
                 new ProcessCluster(plan(8), folder.resolve("on"), ProcessCluster.Setup.gossiping(SHARES), 4)) {
-            assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "all see all");
+            assertTrue(
+                    c.awaitLogged("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
+                    "all see all");
             on = unevenness(c, 20);
             System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off
                     + " each for itself, " + on + " by subsets");
@@ -75,10 +77,14 @@
             }
             long from = System.nanoTime();
             assertTrue(unevenness(c, 5) > 0, "the three that are left deliver all the same");
-            assertTrue(c.say("shares: ", "3 members, limits are divided by 3", 3, by(45)), "a herd that has gone");
+            assertTrue(
+                    c.awaitLogged("partition.", "partition.changed members=3 limit_divisor=3", 3, by(45)),
+                    "a herd that has gone");
             System.out.println("seen after " + (System.nanoTime() - from) / 1_000_000 + " ms, of which 2 s are held");
             c.heal(true);
-            assertTrue(c.say("shares: ", "8 members, limits are divided by 8", 8, by(30)), "and come back");
+            assertTrue(
+                    c.awaitLogged("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
+                    "and come back");
             assertTrue(unevenness(c, 20) < 1.15);
         }
     }
@@ -114,7 +120,9 @@
                 plan(4),
                 folder.resolve("on"),
                 ProcessCluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
-            assertTrue(c.say("shares: ", "4 members, limits are divided by 4", 4, by(30)), "all see all");
+            assertTrue(
+                    c.awaitLogged("partition.", "partition.changed members=4 limit_divisor=4", 4, by(30)),
+                    "all see all");
             c.befall(FaultInjection.parse(0, "lose 30"));
             one = callsInAnOutage(c);
         }
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -82,7 +82,8 @@
             adopted(c, "n2", VersionTestRun.write(c, 0));
             assertEquals(202, send(c, "n1"));
             c.befall(FaultInjection.parse(0, "isolate n1"));
-            assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
+            assertTrue(c.awaitLogged(
+                    "configuration.", "configuration.version_in_doubt rejects_requests=true fault=none", 1, by(10)));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
             assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.write(c, 1), "without n1")
                     .isEmpty());
