--- a/src/main/java/elderseam/app/VersionLabels.java
+++ b/src/main/java/elderseam/app/VersionLabels.java
@@ -2,7 +2,7 @@
 
 import elderseam.fleet.config.ConfigurationVersion;
 
-/** How versions are named in logs and in answers to operators. */
+/** How versions are named in answers to operators. */
 final class VersionLabels {
     private VersionLabels() {}
 
@@ -11,11 +11,6 @@
         return version.number() + " " + version.shortHash();
     }
 
-    /** The same for a log line. */
-    static String named(ConfigurationVersion version) {
-        return "version " + numbered(version);
-    }
-
     /** The first line of what is wrong, or {@code otherwise} where an exception says nothing. */
     static String firstLine(Exception fault, String otherwise) {
         return String.valueOf(fault.getMessage()).lines().findFirst().orElse(otherwise);
