--- a/src/test/java/elderseam/logging/EventLoggerTest.java
+++ b/src/test/java/elderseam/logging/EventLoggerTest.java
@@ -13,10 +13,14 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** The form of a line in the log: what a reader gets back is what was logged, on one line. */
+/** The form of a line in the log: what a reader gets back is what was logged. No other class may log meanwhile. */
+@Isolated
 class EventLoggerTest {
     private static String text(LogField field) {
         StringBuilder line = new StringBuilder();
@@ -90,6 +94,16 @@
         assertTrue(lines[2].startsWith("\tat elderseam.logging.EventLoggerTest"), lines[2]);
     }
 
+    @Test
+    void theConsensusEngineIsKeptAtWarn() {
+        EventLogger.of(EventLoggerTest.class); // chooses the provider
+        assertEquals(
+                "org.slf4j.simple.SimpleLoggerFactory",
+                LoggerFactory.getILoggerFactory().getClass().getName());
+        Logger engine = LoggerFactory.getLogger("org.apache.ratis.server.RaftServer");
+        assertTrue(engine.isWarnEnabled() && !engine.isInfoEnabled());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"draining", "INFO two words", "INFO test.happened value", "INFO test.happened a=b c", "x"})
     void whatIsNoEventIsNotReadAsOne(String line) {
