--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -135,7 +135,7 @@
             if (secureListener == null) {
                 secureListener = openEventListener(maxClients, context);
             } else {
-                secureListener.renew(context);
+                secureListener.updateCertificate(context);
             }
         } catch (IOException e) {
             System.err.println("events: " + e);
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -88,7 +88,7 @@
      */
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long calledNs = System.nanoTime();
-        XnioStartup.start();
+        XnioStartup.configure();
         OperatorSettings.Loaded operator = OperatorSettings.load(settingsFile);
         Clock clock = clock(operator.settings());
         long startedNs = clock.now() - (System.nanoTime() - calledNs);
@@ -148,7 +148,7 @@
         EndpointConnectionPool platform =
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
-        io.onAway(dispatcher::eventLoopStalled);
+        io.onStall(dispatcher::eventLoopStalled);
         liveConfiguration = new LiveConfiguration(
                 new LiveConfiguration.RuleTargets(io, dispatcher, journal), config, settings, startup.settingsFile());
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
@@ -258,7 +258,8 @@
     private void takeOver(OwnershipAcquisition.Takeover takeover) throws IOException {
         HandoverChannel channel = takeover.channel();
         HandoverFrame.StateTransfer received = takeover.state();
-        endpointConnections.most(config.limits().upstream() / 2); // descriptors are counted for both processes
+        endpointConnections.setMaxConnections(
+                config.limits().upstream() / 2); // descriptors are counted for both processes
         dispatcher
                 .handover()
                 .takeOver(
@@ -284,7 +285,7 @@
     }
 
     private void onPredecessorGone() {
-        endpointConnections.most(config.limits().upstream());
+        endpointConnections.setMaxConnections(config.limits().upstream());
         dispatcher.handover().predecessorGone();
     }
 
@@ -298,7 +299,7 @@
         lifecycle.markStarted();
         long readyAfterMs = (io.clock.now() - startup.startedNs()) / Clock.MS;
         System.err.println(
-                "ready after " + readyAfterMs + " ms, away for " + io.longestAway() / Clock.MS + " ms at most");
+                "ready after " + readyAfterMs + " ms, away for " + io.longestStallNs() / Clock.MS + " ms at most");
         if (startup.control() != null) {
             transfer.listen(config.state());
         }
--- a/src/main/java/elderseam/app/ListenerGroup.java
+++ b/src/main/java/elderseam/app/ListenerGroup.java
@@ -25,7 +25,7 @@
 
     /** The platform's requests that are read, or being read, and not answered. */
     int unansweredPlatformRequests() {
-        return platform().unanswered();
+        return platform().unansweredRequests();
     }
 
     private HttpServer platform() {
@@ -35,7 +35,7 @@
     /** Accepts connections again after {@link #stopAccepting}; an IOException says that an address is in use by now. */
     void resumeAccepting() throws IOException {
         for (HttpServer listener : listeners) {
-            listener.accept();
+            listener.startAccepting();
         }
     }
 
@@ -46,17 +46,17 @@
 
     /** Whether each answer from now on is the last on its connection. */
     void closeAfterAnswer(boolean close) {
-        listeners.forEach(listener -> listener.closing(close));
+        listeners.forEach(listener -> listener.closeAfterResponse(close));
     }
 
     /** Closes the connections that carry no request. */
     void closeIdleConnections() {
-        listeners.forEach(HttpServer::closeIdle);
+        listeners.forEach(HttpServer::closeIdleConnections);
     }
 
     /** Closes all connections but those whose request is being read or answered. */
     void closeFinishedConnections() {
-        listeners.forEach(HttpServer::endConnections);
+        listeners.forEach(HttpServer::closeAllButActive);
     }
 
     /** Closes the connections of CloudEvents clients at once: they retry, with the same event id. */
@@ -66,6 +66,6 @@
 
     /** Whether no client is connected. */
     boolean hasNoConnections() {
-        return listeners.stream().allMatch(listener -> listener.open() == 0);
+        return listeners.stream().allMatch(listener -> listener.openConnections() == 0);
     }
 }
--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -171,7 +171,7 @@
                 throw new ParameterException(spec.commandLine(), "--seconds: " + seconds + ", allowed: 1 to 3600");
             }
             GossipConfiguration opening = GossipConfiguration.read(s);
-            XnioStartup.start();
+            XnioStartup.configure();
             Clock clock = new Clock();
             IoLoop io = new IoLoop(clock);
             CompletableFuture<Seen> seen = new CompletableFuture<>();
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -69,7 +69,7 @@
                 open.iterator().next().close();
             }
             open.add(this);
-            timer = io.timer(io.clock.now() + OPEN_NS, this::expired);
+            timer = io.schedule(io.clock.now() + OPEN_NS, this::expired);
             channel.getSourceChannel().setReadListener(c -> read());
             channel.getSinkChannel().setWriteListener(c -> write());
             channel.getSourceChannel().resumeReads();
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -73,7 +73,7 @@
 
     /** Starts this member. Throws an IOException if the directory or the port cannot be used. */
     public static LeaseGroup start(LeaseGroupConfiguration configuration) throws IOException {
-        XnioStartup.manageable();
+        XnioStartup.enableManagement();
         RaftGroup initialGroup = raftGroup(configuration.groupName(), configuration.initialMembers());
         RaftGroupId groupId = initialGroup.getGroupId();
         RaftProperties properties = RatisSettings.forMember(configuration);
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -37,7 +37,7 @@
                 attempt::maySend,
                 attempt::written,
                 r -> attempt.answeredLate(meaning(r)),
-                r -> attempt.ended(meaning(r)))::abandon;
+                r -> attempt.ended(meaning(r)))::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -7,6 +7,7 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.EndpointExchange;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
@@ -32,7 +33,7 @@
     private long version;
     private boolean anew; // a new place has not answered yet: its versions are not those of the old one
     private boolean stopped; // another process watches
-    private EndpointConnectionPool.Request out; // the one call under way, or none
+    private EndpointExchange out; // the one call under way, or none
     private Runnable answered = () -> {};
 
     public DiscoveryWatcher(
@@ -77,10 +78,10 @@
 
     /** What is out counts for nothing, whatever it might still bring. */
     private void drop() {
-        EndpointConnectionPool.Request old = out;
+        EndpointExchange old = out;
         out = null;
         if (old != null) {
-            old.abandon();
+            old.cancel();
         }
         connections.closeIdle(address);
     }
@@ -127,7 +128,7 @@
     }
 
     private void ask(String query, long by) {
-        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
+        EndpointExchange[] own = new EndpointExchange[1];
         own[0] = connections.send(
                 address, HttpRequest.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
                     if (out == own[0]) {
--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -6,6 +6,7 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.EndpointExchange;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
@@ -40,7 +41,7 @@
     private final TreeSet<Line> byDue = new TreeSet<>(); // the same, what is due soonest first
     private boolean passedOn; // another process tells them
     private boolean out; // a post is under way, or about to be
-    private EndpointConnectionPool.Request request;
+    private EndpointExchange request;
 
     NotificationSender(
             IoLoop io, EndpointConnectionPool connections, EndpointAddress address, RequestDispatcher relay) {
@@ -102,10 +103,10 @@
             out = false;
             return;
         }
-        EndpointConnectionPool.Request old = request;
+        EndpointExchange old = request;
         request = null;
         if (old != null) {
-            old.abandon();
+            old.cancel();
         }
         List<String> ids = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
@@ -116,7 +117,7 @@
         long by = io.clock.now() + ANSWER_NS;
         HttpRequest post =
                 new HttpRequest("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
-        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
+        EndpointExchange[] own = new EndpointExchange[1];
         own[0] = connections.send(address, post, by, by, r -> {
             if (request == own[0]) { // told from a later task, as every answer is
                 told(ids, r);
@@ -137,7 +138,7 @@
         if (out && heard) {
             post();
         } else if (out) {
-            EndpointConnectionPool.Request failed = request;
+            EndpointExchange failed = request;
             io.at(io.clock.now() + AGAIN_NS, () -> {
                 if (request == failed) { // else a move has posted already
                     post();
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -51,7 +51,7 @@
                 attempt::maySend,
                 attempt::written,
                 r -> attempt.answeredLate(meaning(r, fields)),
-                r -> attempt.ended(meaning(r, fields)))::abandon;
+                r -> attempt.ended(meaning(r, fields)))::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/http/EndpointAddress.java
+++ b/src/main/java/elderseam/http/EndpointAddress.java
@@ -2,18 +2,25 @@
 
 import java.net.InetSocketAddress;
 
-/** Another host, and where it is reached. Connections are kept for both together: an address may pass to another host. */
+/**
+ * An endpoint and where it is reached. Connections are kept for both together, since an address may pass to another
+ * endpoint.
+ *
+ * @param id the endpoint's id in the endpoint list
+ * @param address host and port, separated by a colon
+ */
 public record EndpointAddress(String id, String address) {
-    /** Null where the address is none. */
-    InetSocketAddress socket() {
+    /** The address to connect to; null if it is not a host and a port. */
+    InetSocketAddress socketAddress() {
         int colon = address.lastIndexOf(':');
+        if (colon < 1) {
+            return null;
+        }
+        String host = address.substring(0, colon);
         try {
-            return colon < 1
-                    ? null
-                    : new InetSocketAddress(
-                            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+            return new InetSocketAddress(host, Integer.parseInt(address.substring(colon + 1)));
         } catch (IllegalArgumentException e) {
-            return null;
+            return null; // no number, or not one of a port
         }
     }
 }
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -1,10 +1,6 @@
 package elderseam.http;
 
-import elderseam.core.AttemptOutcome.Progress;
-import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,445 +10,236 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.xnio.IoFuture;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
-import org.xnio.conduits.ConduitStreamSinkChannel;
 
 /**
- * Connections to other hosts, kept while idle for less than those hosts allow. One carries a request at a time, and
- * nothing is ever sent again from here. A request that is given up ends the sending on its connection, so that no copy
- * stays out, and that connection is closed after a second, or sooner where room is needed. An answer that is spoilt, or
- * followed by what does not belong to it, closes its connection at once.
+ * Connections to endpoints. Idle ones are kept for less time than the endpoints allow, and the number of open ones is
+ * bounded. A connection carries one exchange at a time (no pipelining), and the pool itself never retries a request.
+ *
+ * <p>A cancelled exchange half-closes its connection, so that the endpoint learns that nobody waits; the connection is
+ * then read for a short time, for a late response, and closed. A connection whose response was malformed, or followed
+ * by bytes that don't belong to it, is closed at once. Confined to the I/O thread.
  */
 public final class EndpointConnectionPool {
-    private static final long WHOLE_NS = 700 * Clock.MS; // from the first byte of an answer to its last
-    private static final long LOOK_NS = 100 * Clock.MS;
-    private static final long LISTEN_NS = 1_000 * Clock.MS; // for the answer to a request given up
-    private static final int MOST_LISTENING = 32;
-    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
-
-    /** An open connection: the request on it, or since when it stands idle, or the request given up on it. */
-    final class Link {
-        final StreamConnection channel;
-        Request current, givenUp;
-        long since;
-        boolean closed;
-
-        Link(StreamConnection channel, Request first) {
-            this.channel = channel;
-            this.current = first;
-            channel.getSourceChannel().setReadListener(c -> readable());
-            channel.getSourceChannel().resumeReads();
-        }
-
-        void close() {
-            if (!closed) {
-                closed = true;
-                open--;
-                listening.remove(this);
-                IoUtils.safeClose(channel);
-            }
-        }
-
-        /** What comes next: -1 the end, 0 nothing now. */
-        private int read() {
-            if (closed) {
-                return -1;
-            }
-            buffer.clear();
-            try {
-                return channel.getSourceChannel().read(buffer);
-            } catch (IOException e) {
-                return -1;
-            } finally {
-                buffer.flip();
-            }
-        }
-
-        private void readable() {
-            for (int n = read(); n != 0 && !closed; n = read()) {
-                if (givenUp != null) {
-                    givenUp.cameLate(n, this);
-                } else if (current == null) { // nothing was asked
-                    forget(this);
-                    close();
-                } else if (current.came(n)) {
-                    return;
-                }
-            }
-        }
-
-        /** Whether nothing has come unasked: neither an end nor what would be taken for the next answer. */
-        boolean quiet() {
-            return read() == 0;
-        }
-    }
-
-    private final IoLoop io;
-    private final long idleNs;
-    private int most;
-    private final int mostBody;
-    private final ByteBuffer buffer = ByteBuffer.allocateDirect(16 << 10);
-    final Map<EndpointAddress, ArrayDeque<Link>> idle = new HashMap<>(); // no empty ones
-    private int open; // with those still connecting
-    private final ArrayDeque<Link> listening = new ArrayDeque<>(); // oldest first
-    private boolean looking;
-
-    /** {@code idleNs}: no connection stands idle for longer; {@code most}: no more are open at once;
-     *  {@code mostBody}: a longer answer is spoilt. */
-    public EndpointConnectionPool(IoLoop io, long idleNs, int most, int mostBody) {
+    private static final long SWEEP_INTERVAL_NS = 100 * Clock.MS;
+
+    /** How long a half-closed connection is read for the late response to its cancelled exchange. */
+    private static final long LATE_RESPONSE_TIMEOUT_NS = 1_000 * Clock.MS;
+
+    private static final int MAX_HALF_CLOSED = 32;
+    private static final int READ_BUFFER_BYTES = 16 << 10;
+    private static final int INITIAL_IDLE_CAPACITY = 2;
+
+    final IoLoop io;
+    final int maxResponseBytes;
+
+    /** What was read last on any of the connections; only valid until the next read. */
+    final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+
+    /** Idle connections by endpoint, the most recently used last; no queue is empty. */
+    final Map<EndpointAddress, ArrayDeque<EndpointConnection>> idle = new HashMap<>();
+
+    private final ArrayDeque<EndpointConnection> halfClosed = new ArrayDeque<>(); // oldest first
+    private final long maxIdleNs;
+    private int maxConnections;
+    private int openConnections; // including those still connecting
+    private boolean sweepScheduled;
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param maxIdleNs a connection that was idle for this long is closed, in nanoseconds
+     * @param maxConnections how many connections may be open at once
+     * @param maxResponseBytes a response with a longer body is malformed
+     */
+    public EndpointConnectionPool(IoLoop io, long maxIdleNs, int maxConnections, int maxResponseBytes) {
         this.io = io;
-        this.idleNs = idleNs;
-        this.most = most;
-        this.mostBody = mostBody;
+        this.maxIdleNs = maxIdleNs;
+        this.maxConnections = maxConnections;
+        this.maxResponseBytes = maxResponseBytes;
     }
 
-    /** Closes what stands idle to a host. */
-    public void closeIdle(EndpointAddress host) {
-        ArrayDeque<Link> kept = idle.remove(host);
-        if (kept != null) {
-            kept.forEach(Link::close);
-        }
+    /** Changes how many connections may be open at once; those that are open stay open. */
+    public void setMaxConnections(int maxConnections) {
+        this.maxConnections = maxConnections;
     }
 
-    /** No more than so many are open at once from now on; those that are open stay. */
-    public void most(int most) {
-        this.most = most;
+    /** Closes the idle connections to an endpoint. */
+    public void closeIdle(EndpointAddress endpoint) {
+        ArrayDeque<EndpointConnection> connections = idle.remove(endpoint);
+        if (connections != null) {
+            connections.forEach(EndpointConnection::close);
+        }
     }
 
-    /** Closes all that stands idle. */
+    /** Closes all idle connections. */
     public void closeIdle() {
         List.copyOf(idle.keySet()).forEach(this::closeIdle);
     }
 
-    /** Sends a request; {@code done} is told once, never from within this call. */
-    public Request send(
-            EndpointAddress host, HttpRequest call, long connectBy, long answerBy, Consumer<HttpResult> done) {
-        return send(host, call, connectBy, answerBy, () -> true, () -> {}, null, done);
+    /**
+     * Sends a request. Without a late-result callback, a cancelled exchange closes its connection at once.
+     *
+     * @param connectBy the time of {@link Clock#now} by which the connection must be established
+     * @param answerBy the time by which the whole response must have arrived
+     * @param onResult called exactly once, never from within this method
+     */
+    public EndpointExchange send(
+            EndpointAddress endpoint,
+            HttpRequest request,
+            long connectBy,
+            long answerBy,
+            Consumer<HttpResult> onResult) {
+        return send(endpoint, request, connectBy, answerBy, () -> true, () -> {}, null, onResult);
     }
 
-    /** The same; {@code maySend} is asked before bytes leave, {@code written} is run once the last one has, and {@code late},
-     *  where there is one, is told of an answer that came after the request was given up: for a second more its connection is
-     *  listened to. */
-    public Request send(
-            EndpointAddress host,
-            HttpRequest call,
+    /**
+     * Sends a request.
+     *
+     * @param connectBy the time of {@link Clock#now} by which the connection must be established
+     * @param answerBy the time by which the whole response must have arrived
+     * @param maySend asked before each write; once it says no, nothing more is written
+     * @param onWritten run once the last byte was written
+     * @param onLateResult called at most once, with the response that arrived after the exchange was cancelled or timed
+     *     out; null to close the connection without waiting for one
+     * @param onResult called exactly once, never from within this method
+     */
+    public EndpointExchange send(
+            EndpointAddress endpoint,
+            HttpRequest request,
             long connectBy,
             long answerBy,
             BooleanSupplier maySend,
-            Runnable written,
-            Consumer<HttpResult> late,
-            Consumer<HttpResult> done) {
-        Request r = new Request(host, call.encoded(host.address()), connectBy, answerBy, maySend, written, late, done);
-        r.start();
-        return r;
+            Runnable onWritten,
+            Consumer<HttpResult> onLateResult,
+            Consumer<HttpResult> onResult) {
+        EndpointExchange exchange = new EndpointExchange(
+                this,
+                endpoint,
+                request.encode(endpoint.address()),
+                connectBy,
+                answerBy,
+                maySend,
+                onWritten,
+                onLateResult,
+                onResult);
+        exchange.start();
+        return exchange;
     }
 
-    private Link takeIdle(EndpointAddress host) {
-        Link found = null;
-        for (ArrayDeque<Link> kept = idle.get(host); found == null && kept != null && !kept.isEmpty(); ) {
-            Link link = kept.pollLast();
-            if (io.clock.now() - link.since < idleNs && link.quiet()) {
-                found = link;
+    /** Takes the most recently used idle connection to an endpoint that is still usable; null if there is none. */
+    EndpointConnection takeIdle(EndpointAddress endpoint) {
+        ArrayDeque<EndpointConnection> connections = idle.get(endpoint);
+        EndpointConnection usable = null;
+        while (usable == null && connections != null && !connections.isEmpty()) {
+            EndpointConnection candidate = connections.pollLast();
+            if (io.clock.now() - candidate.stateSinceNs < maxIdleNs && candidate.isSilent()) {
+                usable = candidate;
             } else {
-                link.close();
+                candidate.close();
             }
         }
-        dropEmpty(host);
-        return found;
+        removeEmptyQueue(endpoint);
+        return usable;
     }
 
-    private void dropEmpty(EndpointAddress host) {
-        idle.computeIfPresent(host, (h, kept) -> kept.isEmpty() ? null : kept);
+    /** Keeps a connection for the next exchange with that endpoint. */
+    void addIdle(EndpointAddress endpoint, EndpointConnection connection) {
+        connection.stateSinceNs = io.clock.now();
+        idle.computeIfAbsent(endpoint, absent -> new ArrayDeque<>(INITIAL_IDLE_CAPACITY))
+                .add(connection);
+        scheduleSweep();
     }
 
-    private void forget(Link link) {
-        idle.values().removeIf(kept -> kept.remove(link) && kept.isEmpty());
+    /** Takes a connection out of the idle ones, if it is one of them. */
+    void removeIdle(EndpointConnection connection) {
+        idle.values().removeIf(connections -> connections.remove(connection) && connections.isEmpty());
     }
 
-    /** Closes one that carries nothing that is owed: listened to, or idle for longest, to any host. */
-    private boolean makeRoom() {
-        if (!listening.isEmpty()) {
-            listening.peekFirst().close();
-            return true;
+    /** Keeps a half-closed connection open for a late response. */
+    void addHalfClosed(EndpointConnection connection) {
+        if (halfClosed.size() >= MAX_HALF_CLOSED) {
+            halfClosed.peekFirst().close();
         }
-        EndpointAddress longest = idle.entrySet().stream()
-                .min(Comparator.comparingLong(e -> e.getValue().peekFirst().since))
-                .map(Map.Entry::getKey)
-                .orElse(null);
-        if (longest == null) {
+        connection.stateSinceNs = io.clock.now();
+        halfClosed.add(connection);
+        scheduleSweep();
+    }
+
+    /** Counts a new connection, for which another is closed if need be; false if none can be closed. */
+    boolean reserveConnection() {
+        if (openConnections >= maxConnections && !makeRoom()) {
             return false;
         }
-        idle.get(longest).pollFirst().close();
-        dropEmpty(longest);
+        openConnections++;
         return true;
     }
 
-    private void keep(EndpointAddress host, Link link) {
-        link.since = io.clock.now();
-        idle.computeIfAbsent(host, h -> new ArrayDeque<>(2)).add(link);
-        look();
+    /** A connection was closed. */
+    void connectionClosed(EndpointConnection connection) {
+        openConnections--;
+        halfClosed.remove(connection);
     }
 
-    private void look() {
-        if (!looking && !(idle.isEmpty() && listening.isEmpty())) {
-            looking = true;
-            io.at(io.clock.now() + LOOK_NS, () -> {
-                looking = false;
-                long since = io.clock.now() - idleNs;
-                List<Link> due = new ArrayList<>();
-                idle.values()
-                        .forEach(kept ->
-                                kept.stream().filter(l -> l.since <= since).forEach(due::add));
-                due.forEach(link -> {
-                    forget(link);
-                    link.close();
-                });
-                long heard = io.clock.now() - LISTEN_NS;
-                while (!listening.isEmpty() && listening.peekFirst().since <= heard) {
-                    listening.peekFirst().close();
-                }
-                look();
-            });
-        }
+    /** A connection could not be established. */
+    void connectionFailed() {
+        openConnections--;
     }
 
-    /** One request under way. */
-    public final class Request {
-        private final EndpointAddress host;
-        private final ByteBuffer bytes;
-        private final long connectBy, answerBy;
-        private final BooleanSupplier maySend;
-        private final Runnable written;
-        private final Consumer<HttpResult> late, done;
-        private final HttpResponseReader answer = new HttpResponseReader(mostBody);
-        private Progress progress = Progress.NOT_CONNECTED;
-        private Link link;
-        private IoFuture<StreamConnection> connecting;
-        private XnioExecutor.Key timer;
-        private int armed; // counts timers: one that was replaced may have come due, and wait its turn
-        private boolean answering, over;
-
-        private Request(
-                EndpointAddress host,
-                ByteBuffer bytes,
-                long connectBy,
-                long answerBy,
-                BooleanSupplier maySend,
-                Runnable written,
-                Consumer<HttpResult> late,
-                Consumer<HttpResult> done) {
-            this.host = host;
-            this.bytes = bytes;
-            this.connectBy = connectBy;
-            this.answerBy = answerBy;
-            this.maySend = maySend;
-            this.written = written;
-            this.late = late;
-            this.done = done;
-        }
-
-        private void start() {
-            link = takeIdle(host);
-            if (link == null) {
-                connect();
-                return;
-            }
-            link.current = this;
-            io.run(this::begin);
-        }
-
-        private void connect() {
-            InetSocketAddress to = host.socket();
-            if (to == null || (open >= most && !makeRoom())) {
-                io.run(() -> finish(Status.BROKEN));
-                return;
-            }
-            open++;
-            expire(connectBy, Status.TIMED_OUT);
-            connecting = io.thread.openStreamConnection(to, this::connected, OPTIONS);
-            connecting.addNotifier(
-                    (future, none) -> {
-                        if (future.getStatus() != IoFuture.Status.DONE) {
-                            io.run(() -> {
-                                open--;
-                                finish(Status.BROKEN);
-                            });
-                        }
-                    },
-                    null);
+    /** Closes one that carries no exchange: the oldest half-closed one, else the one that was idle for longest. */
+    private boolean makeRoom() {
+        if (!halfClosed.isEmpty()) {
+            halfClosed.peekFirst().close();
+            return true;
         }
-
-        private void connected(StreamConnection channel) {
-            Link fresh = new Link(channel, this);
-            if (over) {
-                fresh.close(); // came up too late
-                return;
-            }
-            link = fresh;
-            expire(answerBy, Status.TIMED_OUT);
-            io.run(this::begin);
+        EndpointAddress leastRecentlyUsed = idle.entrySet().stream()
+                .min(Comparator.comparingLong(entry -> entry.getValue().peekFirst().stateSinceNs))
+                .map(Map.Entry::getKey)
+                .orElse(null);
+        if (leastRecentlyUsed == null) {
+            return false;
         }
+        idle.get(leastRecentlyUsed).pollFirst().close();
+        removeEmptyQueue(leastRecentlyUsed);
+        return true;
+    }
 
-        private void expire(long by, Status as) {
-            if (timer != null) {
-                timer.remove();
-            }
-            int number = ++armed;
-            timer = io.timer(by, () -> {
-                if (number == armed) {
-                    giveUp(as);
-                }
-            });
-        }
+    private void removeEmptyQueue(EndpointAddress endpoint) {
+        idle.computeIfPresent(endpoint, (key, connections) -> connections.isEmpty() ? null : connections);
+    }
 
-        private void begin() {
-            if (over || link == null || progress != Progress.NOT_CONNECTED) {
-                return;
-            }
-            if (!maySend.getAsBoolean()) {
-                finish(Status.HELD);
-                return;
-            }
-            expire(answerBy, Status.TIMED_OUT);
-            progress = Progress.PARTLY_WRITTEN;
-            write(link.channel.getSinkChannel());
+    private void scheduleSweep() {
+        boolean nothingToSweep = idle.isEmpty() && halfClosed.isEmpty();
+        if (!sweepScheduled && !nothingToSweep) {
+            sweepScheduled = true;
+            io.at(io.clock.now() + SWEEP_INTERVAL_NS, this::sweep);
         }
+    }
 
-        /** Once the last byte has been handed to the network, the request may have run. */
-        private void write(ConduitStreamSinkChannel to) {
-            try {
-                while (!over && bytes.hasRemaining()) {
-                    if (!maySend.getAsBoolean()) { // cut off, it never runs
-                        finish(Status.HELD);
-                    } else if (to.write(bytes) == 0) {
-                        to.setWriteListener(this::write);
-                        to.resumeWrites();
-                        return;
-                    }
-                }
-                if (!over) {
-                    to.suspendWrites();
-                    progress = Progress.WRITTEN;
-                    written.run();
-                }
-            } catch (IOException x) {
-                finish(Status.BROKEN);
-            }
-        }
+    private void sweep() {
+        sweepScheduled = false;
+        closeExpiredIdle(io.clock.now() - maxIdleNs);
+        closeExpiredHalfClosed(io.clock.now() - LATE_RESPONSE_TIMEOUT_NS);
+        scheduleSweep();
+    }
 
-        /** So many bytes of an answer are in the buffer, or -1: its end. True once the request is over, or elsewhere. */
-        private boolean came(int n) {
-            if (progress == Progress.NOT_CONNECTED) {
-                if (connecting != null) {
-                    finish(Status.BROKEN);
-                } else { // the kept connection had ended, and nothing was written yet
-                    link.close();
-                    link = null;
-                    connect();
+    private void closeExpiredIdle(long idleSinceNs) {
+        List<EndpointConnection> expired = new ArrayList<>();
+        for (ArrayDeque<EndpointConnection> connections : idle.values()) {
+            for (EndpointConnection connection : connections) {
+                if (connection.stateSinceNs <= idleSinceNs) {
+                    expired.add(connection);
                 }
-                return true;
-            }
-            if (n < 0) {
-                answer.ended();
-            } else {
-                answer.read(buffer);
             }
-            if (answer.whole()) {
-                boolean clean = n > 0
-                        && !buffer.hasRemaining()
-                        && answer.kept()
-                        && progress == Progress.WRITTEN
-                        && link.quiet();
-                progress = Progress.ANSWERED;
-                finish(clean ? null : Status.ERROR);
-            } else if (answer.spoilt()) {
-                finish(answering || n > 0 ? Status.ERROR : Status.BROKEN); // an answer of sorts, or none
-            } else if (!answering) {
-                answering = true;
-                expire(Math.min(answerBy, io.clock.now() + WHOLE_NS), Status.ERROR);
-            }
-            return over;
         }
-
-        /** Gives the request up; its end is told before this returns. */
-        public void abandon() {
-            giveUp(Status.ABANDONED);
-        }
-
-        /** What has arrived counts first: it may be the answer, or tell of a wait. */
-        private void giveUp(Status why) {
-            if (!over && link != null && progress == Progress.WRITTEN) {
-                link.readable();
-            }
-            finish(why);
-        }
-
-        /** Ends the sending, which gives the request up as a close would, and listens for what is under way. */
-        private boolean listens(Status why) {
-            if (late == null || progress != Progress.WRITTEN || (why != Status.TIMED_OUT && why != Status.ABANDONED)) {
-                return false;
-            }
-            try {
-                link.channel.getSinkChannel().shutdownWrites();
-                link.channel.getSinkChannel().flush();
-            } catch (IOException e) {
-                return false;
-            }
-            if (listening.size() >= MOST_LISTENING) {
-                listening.peekFirst().close();
-            }
-            link.givenUp = this;
-            link.since = io.clock.now();
-            listening.add(link);
-            look();
-            return true;
-        }
-
-        /** So many bytes came for a request given up, or its end. */
-        private void cameLate(int n, Link from) {
-            if (n < 0) {
-                answer.ended();
-            } else {
-                answer.read(buffer);
-            }
-            if (answer.whole() || answer.spoilt() || n < 0) {
-                from.givenUp = null;
-                from.close();
-                if (answer.whole()) {
-                    late.accept(
-                            new HttpResult(Progress.ANSWERED, null, answer.code(), answer.headers(), answer.body()));
-                }
-            }
+        for (EndpointConnection connection : expired) {
+            removeIdle(connection);
+            connection.close();
         }
+    }
 
-        /** With no failure, or nothing sent, the connection can be used again; a whole answer counts in any case. */
-        private void finish(Status failure) {
-            if (over) {
-                return;
-            }
-            over = true;
-            if (timer != null) {
-                timer.remove();
-            }
-            if (link != null) {
-                link.current = null;
-                if (failure == null || (failure == Status.HELD && progress == Progress.NOT_CONNECTED)) {
-                    keep(host, link);
-                } else if (!listens(failure)) {
-                    link.close();
-                }
-            } else if (connecting != null) {
-                connecting.cancel();
-            }
-            done.accept(
-                    progress == Progress.ANSWERED
-                            ? new HttpResult(progress, null, answer.code(), answer.headers(), answer.body())
-                            : HttpResult.none(progress, failure, answer.code()));
+    private void closeExpiredHalfClosed(long halfClosedSinceNs) {
+        while (!halfClosed.isEmpty() && halfClosed.peekFirst().stateSinceNs <= halfClosedSinceNs) {
+            halfClosed.peekFirst().close();
         }
     }
 }
--- a/src/main/java/elderseam/http/HeaderView.java
+++ b/src/main/java/elderseam/http/HeaderView.java
@@ -8,18 +8,23 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The headers of a request as a map: names without regard to case, of each the first value. Looking one up allocates nothing. */
+/**
+ * The headers of a request as a map: names in any case, of a repeated header the first value, without the white space
+ * around it. A look-up copies nothing; the entries are copied once, when they are first iterated. Read-only, and
+ * confined to the I/O thread like the headers themselves.
+ */
 public final class HeaderView extends AbstractMap<String, String> {
     private final HeaderMap headers;
-    private Map<String, String> all; // once somebody goes through them
+    private Map<String, String> entries; // null until they are iterated
 
+    /** A view of these headers. */
     public HeaderView(HeaderMap headers) {
         this.headers = headers;
     }
 
     @Override
     public String get(Object name) {
-        String value = name instanceof String s ? headers.getFirst(s) : null;
+        String value = name instanceof String text ? headers.getFirst(text) : null;
         return value == null ? null : value.strip();
     }
 
@@ -35,14 +40,13 @@
 
     @Override
     public Set<Entry<String, String>> entrySet() {
-        if (all == null) {
-            all = new LinkedHashMap<>();
-            for (HeaderValues h : headers) {
-                all.put(
-                        h.getHeaderName().toString().toLowerCase(Locale.ROOT),
-                        h.getFirst().strip());
+        if (entries == null) {
+            entries = new LinkedHashMap<>();
+            for (HeaderValues values : headers) {
+                String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
+                entries.put(name, values.getFirst().strip());
             }
         }
-        return all.entrySet();
+        return entries.entrySet();
     }
 }
--- a/src/main/java/elderseam/http/HttpRequest.java
+++ b/src/main/java/elderseam/http/HttpRequest.java
@@ -4,35 +4,47 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
-/** A request to another host, encoded once. */
+/**
+ * A request to an endpoint.
+ *
+ * @param path path and query, sent as they are
+ * @param headers names and values besides {@code Host} and {@code Content-Length}; control characters in a value are
+ *     sent as spaces
+ * @param body the body, which nobody may modify; empty for GET
+ */
 public record HttpRequest(String method, String path, Map<String, String> headers, byte[] body) {
+    private static final int INITIAL_HEAD_CAPACITY = 256;
+    private static final char DELETE = 0x7f;
+
+    /** A GET request without headers of its own. */
     public static HttpRequest get(String path) {
         return new HttpRequest("GET", path, Map.of(), new byte[0]);
     }
 
-    ByteBuffer encoded(String host) {
-        StringBuilder head = new StringBuilder(256)
-                .append(method)
-                .append(' ')
-                .append(path)
-                .append(" HTTP/1.1\r\nHost: ")
-                .append(host)
-                .append("\r\n");
-        headers.forEach((name, value) -> {
-            head.append(name).append(": ");
-            for (int i = 0; i < value.length(); i++) {
-                char c = value.charAt(i);
-                head.append(c < 0x20 || c == 0x7f ? ' ' : c); // no value may end its line
-            }
-            head.append("\r\n");
-        });
+    /** Encodes it as HTTP/1.1, with {@code host} as its Host header. */
+    ByteBuffer encode(String host) {
+        StringBuilder head = new StringBuilder(INITIAL_HEAD_CAPACITY);
+        head.append(method).append(' ').append(path).append(" HTTP/1.1\r\n");
+        head.append("Host: ").append(host).append("\r\n");
+        headers.forEach((name, value) -> appendHeader(head, name, value));
         if (!method.equals("GET")) {
             head.append("Content-Length: ").append(body.length).append("\r\n");
         }
-        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(start.length + body.length)
-                .put(start)
+        head.append("\r\n");
+        byte[] headBytes = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+        return ByteBuffer.allocate(headBytes.length + body.length)
+                .put(headBytes)
                 .put(body)
                 .flip();
     }
+
+    private static void appendHeader(StringBuilder head, String name, String value) {
+        head.append(name).append(": ");
+        for (int i = 0; i < value.length(); i++) {
+            char character = value.charAt(i);
+            boolean control = character < ' ' || character == DELETE; // could end the line and begin another header
+            head.append(control ? ' ' : character);
+        }
+        head.append("\r\n");
+    }
 }
--- a/src/main/java/elderseam/http/HttpRequestAttributes.java
+++ b/src/main/java/elderseam/http/HttpRequestAttributes.java
@@ -2,9 +2,16 @@
 
 import elderseam.core.RequestAttributes;
 import elderseam.http.HttpServer.Request;
+import java.net.InetSocketAddress;
 import java.util.Map;
 
-/** What a request tells the operator's rules; {@code attributes} and {@code body} are those of its message. */
+/**
+ * What a received request tells the operator's rules.
+ *
+ * @param front the name of the frontend that received it
+ * @param attributes the attributes of an event by name; otherwise empty
+ * @param body the message's body, which in a batch of events is a part of the request's
+ */
 public record HttpRequestAttributes(String front, Request request, Map<String, String> attributes, byte[] body)
         implements RequestAttributes {
     @Override
@@ -24,8 +31,10 @@
 
     @Override
     public String source() {
-        return request.source() == null || request.source().getAddress() == null
-                ? ""
-                : request.source().getAddress().getHostAddress();
+        InetSocketAddress source = request.source();
+        if (source == null || source.getAddress() == null) {
+            return "";
+        }
+        return source.getAddress().getHostAddress();
     }
 }
--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -1,187 +1,222 @@
 package elderseam.http;
 
+import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.regex.Pattern;
 
 /**
- * Reads one answer as its bytes come, within bounds, and trusts none of it: whatever does not fit makes it spoilt. The
- * code of its first line is kept even then. Answers 1xx before it are passed over. (Undertow's own parser knows no bound
- * for a head, takes any 1xx for the answer, and tells nothing of a first line whose rest is broken.)
+ * An incremental parser of one HTTP/1.x response (RFC 9112), bounded and strict: whatever doesn't fit makes the response
+ * malformed, but the code of a status line that was read is kept. Interim responses (1xx) are skipped. Undertow's own
+ * parser has no bound for a head, takes any 1xx for the response, and doesn't report the rest of a status line. Confined
+ * to the I/O thread.
  */
 final class HttpResponseReader {
-    private static final int MOST_HEAD = 16 << 10;
-    private static final Pattern FIRST = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?"),
-            NAME = Pattern.compile("[!-~]+"),
-            LENGTH = Pattern.compile("[0-9]{1,18}"),
-            SIZE = Pattern.compile("[0-9a-fA-F]{1,7}"); // once: each answer meets them
-
-    enum State {
-        LINE,
+    private static final int MAX_HEAD_BYTES = 16 << 10; // with the lines around the chunks and the trailers
+    private static final int BYTE_MASK = 0xff;
+    private static final int HEX = 16;
+
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
+    private static final Pattern HEADER_NAME = Pattern.compile("[!-~]+");
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,7}");
+    private static final int MINOR_VERSION_INDEX = "HTTP/1.".length();
+    private static final int STATUS_CODE_INDEX = "HTTP/1.1 ".length();
+    private static final int STATUS_CODE_END = "HTTP/1.1 200".length();
+
+    private enum State {
+        STATUS_LINE,
         HEADERS,
-        FIXED,
+        FIXED_LENGTH_BODY,
         CHUNK_SIZE,
-        CHUNK,
+        CHUNK_DATA,
         CHUNK_END,
         TRAILERS,
-        TO_END,
-        WHOLE,
-        SPOILT
+        BODY_UNTIL_CLOSE,
+        COMPLETE,
+        MALFORMED
     }
 
-    private final int mostBody;
+    private final int maxBodyBytes;
     private final StringBuilder line = new StringBuilder();
     private final Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-    private State state = State.LINE;
-    private int head, code;
-    private long left;
-    private boolean kept = true;
+    private State state = State.STATUS_LINE;
+    private int headBytes;
+    private int statusCode;
+    private long remainingBytes; // of the body, or of the chunk
+    private boolean reusable = true;
 
-    HttpResponseReader(int mostBody) {
-        this.mostBody = mostBody;
+    /** {@code maxBodyBytes}: a response with a longer body is malformed. */
+    HttpResponseReader(int maxBodyBytes) {
+        this.maxBodyBytes = maxBodyBytes;
     }
 
-    boolean whole() {
-        return state == State.WHOLE;
+    /** Whether the whole response was read. */
+    boolean isComplete() {
+        return state == State.COMPLETE;
     }
 
-    boolean spoilt() {
-        return state == State.SPOILT;
+    /** Whether it can't become a response any more. */
+    boolean isMalformed() {
+        return state == State.MALFORMED;
     }
 
-    /** Whether the connection may be used again, once the answer is whole. */
-    boolean kept() {
-        return kept;
+    /** Whether the connection may carry a further exchange, once the response is complete. */
+    boolean allowsReuse() {
+        return reusable;
     }
 
-    /** Of the first line, 0 before it could be read. */
-    int code() {
-        return code;
+    /** The status code; 0 until the status line was read. */
+    int statusCode() {
+        return statusCode;
     }
 
+    /** The headers by name, in any case. */
     Map<String, String> headers() {
         return headers;
     }
 
+    /** A copy of the body. */
     byte[] body() {
         return body.toByteArray();
     }
 
-    /** Takes what belongs to the answer; what is left in the buffer does not. */
+    /** Reads what belongs to the response; the bytes left in the buffer don't. */
     void read(ByteBuffer bytes) {
-        while (bytes.hasRemaining() && state != State.WHOLE && state != State.SPOILT) {
-            if (state == State.FIXED || state == State.CHUNK || state == State.TO_END) {
-                take(bytes);
+        while (bytes.hasRemaining() && state != State.COMPLETE && state != State.MALFORMED) {
+            if (state == State.FIXED_LENGTH_BODY || state == State.CHUNK_DATA || state == State.BODY_UNTIL_CLOSE) {
+                readBody(bytes);
             } else {
-                letter((char) (bytes.get() & 0xff));
+                readCharacter((char) (bytes.get() & BYTE_MASK));
             }
         }
     }
 
-    /** The other side sends no more. */
-    void ended() {
-        state = state == State.TO_END || state == State.WHOLE ? State.WHOLE : State.SPOILT;
+    /** The endpoint sends no more, which is the end of a body without a length. */
+    void endOfStream() {
+        boolean complete = state == State.BODY_UNTIL_CLOSE || state == State.COMPLETE;
+        state = complete ? State.COMPLETE : State.MALFORMED;
     }
 
-    private void take(ByteBuffer bytes) {
-        int n = state == State.TO_END ? bytes.remaining() : (int) Math.min(left, bytes.remaining());
-        if (body.size() + n > mostBody) {
-            state = State.SPOILT;
+    private void readBody(ByteBuffer bytes) {
+        int count =
+                state == State.BODY_UNTIL_CLOSE ? bytes.remaining() : (int) Math.min(remainingBytes, bytes.remaining());
+        if (body.size() + count > maxBodyBytes) {
+            state = State.MALFORMED;
             return;
         }
-        byte[] part = new byte[n];
+        byte[] part = new byte[count];
         bytes.get(part);
-        body.write(part, 0, n);
-        left -= n;
-        if (left == 0 && state != State.TO_END) {
-            state = state == State.FIXED ? State.WHOLE : State.CHUNK_END;
+        body.write(part, 0, count);
+        remainingBytes -= count;
+        if (remainingBytes == 0 && state != State.BODY_UNTIL_CLOSE) {
+            state = state == State.FIXED_LENGTH_BODY ? State.COMPLETE : State.CHUNK_END;
         }
     }
 
-    private void letter(char c) {
-        if (++head > MOST_HEAD || (c < ' ' && c != '\t' && c != '\r' && c != '\n')) {
-            state = State.SPOILT;
-        } else if (c != '\n') {
-            line.append(c);
+    private void readCharacter(char character) {
+        headBytes++;
+        if (headBytes > MAX_HEAD_BYTES || isForbidden(character)) {
+            state = State.MALFORMED;
+        } else if (character != '\n') {
+            line.append(character);
         } else {
-            int end = line.length() - (line.length() > 0 && line.charAt(line.length() - 1) == '\r' ? 1 : 0);
-            String text = line.substring(0, end);
-            line.setLength(0);
-            state = text.indexOf('\r') >= 0 ? State.SPOILT : next(text);
+            readLine();
         }
     }
 
-    private State next(String text) {
+    private static boolean isForbidden(char character) {
+        return character < ' ' && character != '\t' && character != '\r' && character != '\n';
+    }
+
+    private void readLine() {
+        boolean endsInCarriageReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
+        String text = line.substring(0, line.length() - (endsInCarriageReturn ? 1 : 0));
+        line.setLength(0);
+        state = text.indexOf('\r') >= 0 ? State.MALFORMED : stateAfter(text);
+    }
+
+    private State stateAfter(String text) {
         return switch (state) {
-            case LINE -> first(text);
-            case HEADERS -> text.isEmpty() ? headEnded() : header(text);
-            case CHUNK_SIZE -> chunk(text.split(";", 2)[0].strip());
-            case CHUNK_END -> text.isEmpty() ? State.CHUNK_SIZE : State.SPOILT;
-            default -> text.isEmpty() ? State.WHOLE : State.TRAILERS;
+            case STATUS_LINE -> readStatusLine(text);
+            case HEADERS -> text.isEmpty() ? endOfHeaders() : readHeader(text);
+            case CHUNK_SIZE -> readChunkSize(text.split(";", 2)[0].strip());
+            case CHUNK_END -> text.isEmpty() ? State.CHUNK_SIZE : State.MALFORMED;
+            default -> text.isEmpty() ? State.COMPLETE : State.TRAILERS;
         };
     }
 
-    private State first(String text) {
-        if (!FIRST.matcher(text).matches()) {
-            return State.SPOILT;
+    private State readStatusLine(String text) {
+        if (!STATUS_LINE.matcher(text).matches()) {
+            return State.MALFORMED;
         }
-        code = Integer.parseInt(text.substring(9, 12));
-        kept = text.charAt(7) == '1';
+        statusCode = Integer.parseInt(text.substring(STATUS_CODE_INDEX, STATUS_CODE_END));
+        reusable = text.charAt(MINOR_VERSION_INDEX) == '1'; // HTTP/1.0 closes by default
         return State.HEADERS;
     }
 
-    private State header(String text) {
+    private State readHeader(String text) {
         int colon = text.indexOf(':');
-        if (colon < 1 || !NAME.matcher(text.substring(0, colon)).matches()) {
-            return State.SPOILT;
+        if (colon < 1) {
+            return State.MALFORMED;
+        }
+        String name = text.substring(0, colon);
+        if (!HEADER_NAME.matcher(name).matches()) {
+            return State.MALFORMED;
         }
-        String name = text.substring(0, colon),
-                value = text.substring(colon + 1).strip();
-        String before = headers.putIfAbsent(name, value);
-        boolean length = name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
-        return length && before != null ? State.SPOILT : State.HEADERS;
+        String value = text.substring(colon + 1).strip();
+        boolean repeated = headers.putIfAbsent(name, value) != null;
+        boolean framing = name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
+        return framing && repeated ? State.MALFORMED : State.HEADERS;
     }
 
-    private State headEnded() {
-        if (code < 200) {
-            if (code == 101) {
-                return State.SPOILT;
-            }
-            code = 0;
-            headers.clear();
-            return State.LINE;
+    private State endOfHeaders() {
+        if (statusCode < StatusCodes.OK) {
+            return endOfInterimResponse();
         }
-        String length = headers.get("Content-Length"), encoding = headers.get("Transfer-Encoding");
-        kept &= !"close".equalsIgnoreCase(headers.getOrDefault("Connection", ""));
-        if (length != null
-                && (encoding != null || !LENGTH.matcher(length).matches() || Long.parseLong(length) > mostBody)) {
-            return State.SPOILT;
+        if ("close".equalsIgnoreCase(headers.getOrDefault("Connection", ""))) {
+            reusable = false;
+        }
+        String length = headers.get("Content-Length");
+        String encoding = headers.get("Transfer-Encoding");
+        if (length != null && (encoding != null || !isAcceptableLength(length))) {
+            return State.MALFORMED;
         }
         if (encoding != null) {
-            return encoding.equalsIgnoreCase("chunked") ? State.CHUNK_SIZE : State.SPOILT;
+            return encoding.equalsIgnoreCase("chunked") ? State.CHUNK_SIZE : State.MALFORMED;
+        }
+        if (statusCode == StatusCodes.NO_CONTENT || statusCode == StatusCodes.NOT_MODIFIED || "0".equals(length)) {
+            return State.COMPLETE;
         }
-        if (code == 204 || code == 304 || "0".equals(length)) {
-            return State.WHOLE;
+        if (length == null) {
+            reusable = false;
+            return State.BODY_UNTIL_CLOSE;
         }
-        kept &= length != null;
-        left = length == null ? 0 : Long.parseLong(length);
-        return length == null ? State.TO_END : left == 0 ? State.WHOLE : State.FIXED;
+        remainingBytes = Long.parseLong(length);
+        return remainingBytes == 0 ? State.COMPLETE : State.FIXED_LENGTH_BODY;
     }
 
-    private State chunk(String size) {
-        if (!SIZE.matcher(size).matches()) {
-            return State.SPOILT;
+    private State endOfInterimResponse() {
+        if (statusCode == StatusCodes.SWITCHING_PROTOCOLS) {
+            return State.MALFORMED; // nobody asked for another protocol
         }
-        left = Integer.parseInt(size, 16);
-        return left == 0 ? State.TRAILERS : State.CHUNK;
+        statusCode = 0;
+        headers.clear();
+        return State.STATUS_LINE;
     }
 
-    @Override
-    public String toString() {
-        return state + " " + code + " " + headers + " " + body.toString(StandardCharsets.ISO_8859_1);
+    private boolean isAcceptableLength(String length) {
+        return CONTENT_LENGTH.matcher(length).matches() && Long.parseLong(length) <= maxBodyBytes;
+    }
+
+    private State readChunkSize(String size) {
+        if (!CHUNK_SIZE.matcher(size).matches()) {
+            return State.MALFORMED;
+        }
+        remainingBytes = Integer.parseInt(size, HEX);
+        return remainingBytes == 0 ? State.TRAILERS : State.CHUNK_DATA;
     }
 }
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -1,25 +1,14 @@
 package elderseam.http;
 
 import io.undertow.UndertowOptions;
-import io.undertow.io.Receiver;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
-import io.undertow.server.AbstractServerConnection;
-import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
-import java.util.regex.Pattern;
 import javax.net.ssl.SSLContext;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
@@ -30,277 +19,211 @@
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.nio.InheritedListener;
 
-/** The downstream side: takes whole requests, each answered once, now or later. */
+/**
+ * A listener for HTTP/1.1 requests: accepts connections within a bound, and passes each complete request to a handler,
+ * which answers it once, now or later. Confined to the I/O thread.
+ */
 public final class HttpServer {
-    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}"); // once: a request meets it
-    /** A request, read to its end; the source is null where it is not known. */
+    /**
+     * A complete request.
+     *
+     * @param path the path without the query
+     * @param source the client's address; null if it is not known
+     */
     public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
+        /** A request whose client is not known. */
         public Request(String method, String path, HeaderMap headers, byte[] body) {
             this(method, path, headers, body, null);
         }
 
+        /** The first value of a header without the white space around it; empty if there is none. */
         public String header(String name) {
             String value = headers.getFirst(name);
             return value == null ? "" : value.strip();
         }
     }
 
-    /** Where the one answer goes. */
+    /** Takes the response to one request. */
     public interface Answerer {
+        /**
+         * Sends the response. Does nothing if one was sent already, or the client is gone.
+         *
+         * @param code the status code
+         */
         void answer(int code, Map<String, String> headers, String body);
     }
 
-    /** What a front does with a request. */
+    /** What a frontend does with a request. */
     public interface Handler {
+        /** Answers the request, now or later; called on the I/O thread. */
         void handle(Request request, Answerer answerer);
     }
 
-    private static final int MOST_HEADER = 16 << 10, HEAD_MS = 2_400;
-    private static final int ACCEPTING = 8; // more that are accepted, and about to take the place of others
+    private static final int MAX_HEAD_BYTES = 16 << 10;
+    private static final int MAX_HEADERS = 64;
+    private static final int HEAD_TIMEOUT_MS = 2_400;
+    private static final int BACKLOG = 256;
+
+    /** Accepted connections beyond the bound: each is refused, or evicts another. */
+    private static final int MAX_CONNECTIONS_BEYOND_BOUND = 8;
+
+    final ClientConnections clientConnections;
 
-    private final HttpOpenListener listener;
     private final IoLoop io;
-    private final ServerSocketChannel inherited; // null: it binds its own
-    private final ChannelListener<StreamConnection> opened;
-    private final OptionMap options;
+    private final ServerSocketChannel inheritedSocket; // null: the server binds its own
+    private final HttpOpenListener httpListener;
+    private final ChannelListener<StreamConnection> onConnection;
+    private final OptionMap socketOptions;
+    private final UndertowXnioSsl ssl; // null: plain HTTP
+    private final RequestReceiver receiver;
     private InetSocketAddress address;
-    private AcceptingChannel<? extends StreamConnection> accepting; // null while it does not, or with an inherited one
-    private InheritedListener given;
-    private final UndertowXnioSsl ssl;
-    private final int mostBody;
-    private final Handler handler;
-    final ClientConnections downstreams;
-    private boolean closing;
+    private AcceptingChannel<? extends StreamConnection> ownListener; // null while it doesn't accept
+    private InheritedListener inheritedListener; // null before the first start, and without an inherited socket
 
-    /** Serves TLS where a context is given, else plain HTTP. */
+    /** A server that binds a socket of its own; for the parameters see the other constructor. */
     public HttpServer(
             IoLoop io,
             InetSocketAddress address,
-            int mostBody,
-            int mostConnections,
-            int mostReading,
+            int maxBodyBytes,
+            int maxConnections,
+            int maxBodyBytesInTransit,
             SSLContext context,
             Handler handler)
             throws IOException {
-        this(io, address, null, mostBody, mostConnections, mostReading, context, handler);
+        this(io, address, null, maxBodyBytes, maxConnections, maxBodyBytesInTransit, context, handler);
     }
 
-    /** {@code inherited}: the socket that already listens there, or null. */
+    /**
+     * Creates a server and starts to accept connections.
+     *
+     * @param address where it listens; port 0 for any free one
+     * @param inheritedSocket a socket that listens there already, for plain HTTP only; null to bind one
+     * @param maxBodyBytes a request with a longer body gets a 413
+     * @param maxConnections how many clients may be connected
+     * @param maxBodyBytesInTransit how many bytes of bodies may be in reading at once, over all connections
+     * @param context serves TLS; null for plain HTTP
+     * @throws IOException if the address can't be bound
+     */
     public HttpServer(
             IoLoop io,
             InetSocketAddress address,
-            ServerSocketChannel inherited,
-            int mostBody,
-            int mostConnections,
-            int mostReading,
+            ServerSocketChannel inheritedSocket,
+            int maxBodyBytes,
+            int maxConnections,
+            int maxBodyBytesInTransit,
             SSLContext context,
             Handler handler)
             throws IOException {
         this.io = io;
         this.address = address;
-        this.inherited = inherited;
-        this.mostBody = mostBody;
-        this.handler = handler;
-        this.downstreams = new ClientConnections(io, mostConnections, mostReading);
-        this.listener = new HttpOpenListener(
-                io.buffers,
-                OptionMap.builder()
-                        .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEADER)
-                        .set(UndertowOptions.MAX_HEADERS, 64)
-                        .set(UndertowOptions.MAX_ENTITY_SIZE, (long) mostBody)
-                        .set(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .set(UndertowOptions.ENABLE_STATISTICS, false)
-                        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS)
-                        .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-                        .getMap());
-        listener.setRootHandler(new HttpContinueReadHandler(root())); // clients may ask before a long body
-        this.options = OptionMap.builder()
-                .set(Options.REUSE_ADDRESSES, true)
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.BACKLOG, 256)
-                .set(Options.CONNECTION_HIGH_WATER, mostConnections + ACCEPTING)
-                .set(Options.CONNECTION_LOW_WATER, mostConnections + ACCEPTING)
+        this.inheritedSocket = inheritedSocket;
+        this.clientConnections = new ClientConnections(io, maxConnections, maxBodyBytesInTransit);
+        this.receiver = new RequestReceiver(clientConnections, maxBodyBytes, handler);
+        this.httpListener = new HttpOpenListener(io.buffers(), undertowOptions(maxBodyBytes));
+        httpListener.setRootHandler(new HttpContinueReadHandler(receiver)); // clients may send Expect: 100-continue
+        this.socketOptions = socketOptions(maxConnections + MAX_CONNECTIONS_BEYOND_BOUND);
+        this.onConnection = clientConnections.guard(httpListener);
+        this.ssl = context == null
+                ? null
+                : new UndertowXnioSsl(io.worker().getXnio(), OptionMap.EMPTY, io.buffers(), context);
+        startAccepting();
+    }
+
+    private static OptionMap undertowOptions(int maxBodyBytes) {
+        return OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) maxBodyBytes)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.ENABLE_STATISTICS, false)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MS)
+                .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .getMap();
-        this.opened = downstreams.guarding(listener);
-        this.ssl =
-                context == null ? null : new UndertowXnioSsl(io.worker.getXnio(), OptionMap.EMPTY, io.buffers, context);
-        accept();
-    }
-
-    /** Takes connections, from the start on and again after {@link #stopAccepting()}. */
-    public void accept() throws IOException {
-        if (inherited != null) {
-            given = given == null ? InheritedListener.on(io.thread, inherited, opened) : given;
-            given.resume();
-        } else if (accepting == null) {
-            accepting = ssl == null
-                    ? io.worker.createStreamConnectionServer(
-                            address, ChannelListeners.openListenerAdapter(opened), options)
-                    : ssl.createSslConnectionServer(
-                            io.worker, address, ChannelListeners.openListenerAdapter(opened), options);
-            address = accepting.getLocalAddress(InetSocketAddress.class);
-            accepting.resumeAccepts();
-        }
-    }
-
-    public InetSocketAddress address() {
-        return address;
     }
 
-    /** New connections get this certificate from now on. */
-    public void renew(SSLContext context) {
-        ssl.updateSSLContext(context);
+    private static OptionMap socketOptions(int maxAccepted) {
+        return OptionMap.builder()
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.BACKLOG, BACKLOG)
+                .set(Options.CONNECTION_HIGH_WATER, maxAccepted)
+                .set(Options.CONNECTION_LOW_WATER, maxAccepted)
+                .getMap();
     }
 
-    private HttpHandler root() {
-        return exchange -> {
-            ClientConnections.Downstream d = downstreams.of(channel(exchange));
-            if (d == null) { // closed meanwhile
-                IoUtils.safeClose(exchange.getConnection());
-                return;
-            }
-            exchange.addExchangeCompleteListener((x, next) -> {
-                if (x.isPersistent()) {
-                    d.idle();
-                } else {
-                    d.ending();
-                }
-                next.proceed();
-            });
-            long length = exchange.getRequestContentLength();
-            boolean room = d.reads(length < 0 ? mostBody : Math.min(length, mostBody));
-            if (!d.readable() || !framed(exchange.getRequestHeaders())) {
-                refuse(exchange, 400);
-            } else if (length > mostBody) {
-                refuse(exchange, 413);
-            } else if (!room) {
-                refuse(exchange, 503);
-            } else {
-                exchange.getRequestReceiver().setMaxBufferSize(mostBody);
-                exchange.getRequestReceiver()
-                        .receiveFullBytes(
-                                (x, body) -> {
-                                    d.asked();
-                                    x.dispatch(SameThreadExecutor.INSTANCE, () -> handle(x, body));
-                                },
-                                (x, e) -> refuse(
-                                        x,
-                                        e instanceof Receiver.RequestToLargeException
-                                                        || e instanceof RequestTooBigException
-                                                ? 413
-                                                : 400));
+    /**
+     * Accepts connections again after {@link #stopAccepting()}; does nothing while it accepts.
+     *
+     * @throws IOException if the address can't be bound
+     */
+    public void startAccepting() throws IOException {
+        if (inheritedSocket != null) {
+            if (inheritedListener == null) {
+                inheritedListener = InheritedListener.register(io.thread(), inheritedSocket, onConnection);
             }
-        };
-    }
-
-    private static StreamConnection channel(HttpServerExchange x) {
-        return ((AbstractServerConnection) x.getConnection()).getChannel();
-    }
-
-    /** Whether the length of the body is told once and plainly: two readings of it could hide a further request. */
-    private static boolean framed(HeaderMap headers) {
-        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH), encodings = headers.get(Headers.TRANSFER_ENCODING);
-        return lengths == null
-                ? encodings == null
-                        || (encodings.size() == 1
-                                && encodings.getFirst().strip().equalsIgnoreCase("chunked"))
-                : encodings == null
-                        && lengths.size() == 1
-                        && LENGTH.matcher(lengths.getFirst()).matches();
-    }
-
-    /** Whether more has come than the one request: its length was wrong, or a further one was sent before the answer. */
-    private static boolean surplus(HttpServerExchange x) {
-        AbstractServerConnection c = (AbstractServerConnection) x.getConnection();
-        if (c.getExtraBytes() != null && c.getExtraBytes().getBuffer().hasRemaining()) {
-            return true;
-        }
-        try {
-            return c.getOriginalSourceConduit().read(ByteBuffer.allocate(1)) > 0;
-        } catch (IOException e) {
-            return false; // gone, as the answer will find
+            inheritedListener.resume();
+        } else if (ownListener == null) {
+            ownListener = bind();
+            address = ownListener.getLocalAddress(InetSocketAddress.class);
+            ownListener.resumeAccepts();
         }
     }
 
-    /**
-     * Answers what can't be served, and ends the connection: where the next request would begin is unknown. The exchange is dispatched,
-     * and with that ours: Undertow would end it by an answer of its own, and close over what is unread where that fails.
-     */
-    private void refuse(HttpServerExchange x, int code) {
-        x.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            ClientConnections.Downstream d = downstreams.of(channel(x));
-            if (d != null && !x.isResponseStarted()) {
-                downstreams.refuse(d, code);
-            }
-        });
+    private AcceptingChannel<? extends StreamConnection> bind() throws IOException {
+        return ssl == null
+                ? io.worker()
+                        .createStreamConnectionServer(
+                                address, ChannelListeners.openListenerAdapter(onConnection), socketOptions)
+                : ssl.createSslConnectionServer(
+                        io.worker(), address, ChannelListeners.openListenerAdapter(onConnection), socketOptions);
     }
 
-    private void handle(HttpServerExchange x, byte[] body) {
-        if (surplus(x)) {
-            refuse(x, 400);
-            return;
-        }
-        Request r = new Request(
-                x.getRequestMethod().toString(), x.getRequestPath(), x.getRequestHeaders(), body, x.getSourceAddress());
-        try {
-            handler.handle(r, (code, headers, text) -> answer(x, code, headers, text));
-        } catch (RuntimeException e) { // one stream's fault must not reach another
-            e.printStackTrace();
-            if (!x.isResponseStarted()) {
-                answer(x, 500, Map.of(), "");
-            }
+    /** Accepts no new connections; those that are open stay open. */
+    public void stopAccepting() {
+        if (inheritedListener != null) {
+            inheritedListener.suspend();
         }
+        IoUtils.safeClose(ownListener);
+        ownListener = null;
     }
 
-    private void answer(HttpServerExchange x, int code, Map<String, String> headers, String text) {
-        ClientConnections.Downstream d = downstreams.of(channel(x));
-        if (d == null || x.isResponseStarted()) {
-            return;
-        }
-        d.answered();
-        x.setStatusCode(code);
-        headers.forEach((name, value) -> x.getResponseHeaders().put(new HttpString(name), value));
-        if (closing) {
-            x.getResponseHeaders().put(Headers.CONNECTION, "close");
-        }
-        x.getResponseSender().send(ByteBuffer.wrap(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    /** Where it listens, with the port that was bound. */
+    public InetSocketAddress address() {
+        return address;
     }
 
-    /** Whether each answer from now on closes its connection; new ones are taken all the same. */
-    public void closing(boolean closing) {
-        this.closing = closing;
+    /** Uses this certificate for new connections; only for a server of TLS. */
+    public void updateCertificate(SSLContext context) {
+        ssl.updateSSLContext(context);
     }
 
-    /** Closes the connections that carry nothing, once all that has arrived is read. */
-    public void closeIdle() {
-        downstreams.closeIdle();
+    /** Whether each response from now on is the last on its connection; new connections are accepted all the same. */
+    public void closeAfterResponse(boolean close) {
+        receiver.closeAfterResponse(close);
     }
 
-    /** Open connections. */
-    public int open() {
-        return downstreams.open();
+    /** Closes the connections that carry nothing, once all that has arrived is read. */
+    public void closeIdleConnections() {
+        clientConnections.closeIdle();
     }
 
-    /** Requests read, or being read, and not answered. */
-    public int unanswered() {
-        return downstreams.unanswered();
+    /** Closes all connections but those whose request is being read or answered; new ones get a 503. */
+    public void closeAllButActive() {
+        clientConnections.closeAllButActive();
     }
 
-    /** Ends all connections but those whose request is being read or answered. */
-    public void endConnections() {
-        downstreams.endAll();
+    /** Closes all connections at once. */
+    public void closeConnections() {
+        httpListener.closeConnections();
     }
 
-    /** Takes no new connections. */
-    public void stopAccepting() {
-        if (given != null) {
-            given.suspend();
-        }
-        IoUtils.safeClose(accepting);
-        accepting = null;
+    /** Open connections. */
+    public int openConnections() {
+        return clientConnections.openConnections();
     }
 
-    public void closeConnections() {
-        listener.closeConnections();
+    /** Requests that were read, or are being read, and are not answered. */
+    public int unansweredRequests() {
+        return clientConnections.unansweredRequests();
     }
 }
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -21,26 +21,46 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * The one I/O thread, which owns everything, its timers and its buffers. Its tasks wait while it is {@link #isStalled}: after
- * a pause XNIO runs each timer that has come due before it looks at a socket, and would so give up calls whose answers
- * lie there.
+ * The event loop: XNIO's one I/O thread with its timers and its buffers. After a stall its tasks are deferred until
+ * everything that arrived meanwhile was read, since XNIO runs each timer that is due before it looks at a socket, and
+ * would so time out exchanges whose responses are there already. {@link #run}, {@link #schedule} and {@link #at} may be
+ * called on any thread, all else on the I/O thread only.
  */
 public final class IoLoop implements EventLoop {
-    private static final int BUFFER = 16 << 10, BUFFERS = 256, CACHED = 16;
-    private static final long NOTEWORTHY_NS = 100 * Clock.MS;
+    private static final int BUFFER_BYTES = 16 << 10;
+    private static final int MAX_POOLED_BUFFERS = 256;
+    private static final int BUFFERS_CACHED_BY_THREAD = 16;
+    private static final int MARKER_BUFFER_BYTES = 16;
 
-    final XnioWorker worker;
-    final XnioIoThread thread;
-    final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS, CACHED);
+    /** A stall that is shorter is not logged. */
+    private static final long LOGGED_STALL_NS = 100 * Clock.MS;
+
+    /** The clock of all times here. */
     public final Clock clock;
+
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers =
+            new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_CACHED_BY_THREAD);
     private final StallDetector stallDetector;
-    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>(); // bounded as the timers are: each is in here once
-    private final ArrayDeque<Runnable> reading = new ArrayDeque<>(); // waits for a pass over the sockets
-    private final ByteBuffer one = ByteBuffer.allocateDirect(16);
-    private StreamSinkChannel marker;
-    private boolean marked, catchingUp;
-    private LongConsumer away = ns -> {};
 
+    /** Tasks that became due in a stall; as many as there are timers at most, since each is in here once. */
+    private final ArrayDeque<Runnable> deferredTasks = new ArrayDeque<>();
+
+    /** Tasks that wait for a pass over the sockets. */
+    private final ArrayDeque<Runnable> tasksAfterReading = new ArrayDeque<>();
+
+    private final ByteBuffer markerBuffer = ByteBuffer.allocateDirect(MARKER_BUFFER_BYTES);
+    private final StreamSinkChannel markerSink;
+    private boolean markerInPipe;
+    private boolean catchingUp;
+    private LongConsumer onStall = stallNs -> {};
+
+    /**
+     * Starts the I/O thread, which runs until the process ends.
+     *
+     * @throws IOException if XNIO gets no selector or no pipe
+     */
     public IoLoop(Clock clock) throws IOException {
         this.clock = clock;
         this.worker = Xnio.getInstance()
@@ -53,125 +73,140 @@
         this.thread = worker.getIoThread();
         this.stallDetector = new StallDetector(clock.now());
         ChannelPipe<StreamSourceChannel, StreamSinkChannel> pipe = thread.createHalfDuplexPipe();
-        marker = pipe.getRightSide();
-        pipe.getLeftSide().getReadSetter().set(this::passed);
+        this.markerSink = pipe.getRightSide();
+        pipe.getLeftSide().getReadSetter().set(this::markerArrived);
         pipe.getLeftSide().resumeReads();
-        thread.execute(() -> beatAgain(stallDetector.heartbeat(clock.now())));
+        thread.execute(() -> scheduleHeartbeat(stallDetector.heartbeat(clock.now())));
+    }
+
+    /**
+     * Sets who is told of each stall, once what arrived meanwhile was read. One listener; a second call replaces it.
+     *
+     * @param listener takes the length of the stall in nanoseconds
+     */
+    public void onStall(LongConsumer listener) {
+        onStall = listener;
     }
 
-    /** Told how long the thread was away, in nanoseconds, once what had arrived meanwhile was read. */
-    public void onAway(LongConsumer away) {
-        this.away = away;
+    /** The longest stall so far, in nanoseconds. */
+    public long longestStallNs() {
+        return stallDetector.longestNs();
     }
 
-    /** The worker, for sockets of other kinds than HTTP's; its one I/O thread is {@link #thread()}. */
+    /** The worker, for sockets of other protocols than HTTP; its one I/O thread is {@link #thread()}. */
     public XnioWorker worker() {
         return worker;
     }
 
+    /** The I/O thread. */
     public XnioIoThread thread() {
         return thread;
     }
 
-    /** Runs a task on the I/O thread now or soon. */
+    /** The buffers that Undertow reads and writes with. */
+    ByteBufferPool buffers() {
+        return buffers;
+    }
+
+    /** Runs a task on the I/O thread, soon after. */
     public void run(Runnable task) {
-        thread.execute(() -> inTime(task));
+        thread.execute(() -> runOrDefer(task));
     }
 
-    /** Runs a task on the I/O thread at that time; the key takes it back. */
-    public XnioExecutor.Key timer(long time, Runnable task) {
-        long delay = Math.max(0, time - clock.now());
-        return thread.executeAfter(() -> inTime(task), delay, TimeUnit.NANOSECONDS);
+    /** Runs a task on the I/O thread at that time of {@link Clock#now} or soon after; the key cancels it. */
+    public XnioExecutor.Key schedule(long time, Runnable task) {
+        return thread.executeAfter(() -> runOrDefer(task), delayNs(time), TimeUnit.NANOSECONDS);
     }
 
     @Override
     public void at(long time, Runnable task) {
-        timer(time, task);
-    }
-
-    /** The longest that the thread was away so far, in nanoseconds. */
-    public long longestAway() {
-        return stallDetector.longestNs();
-    }
-
-    private void beatAgain(long due) {
-        thread.executeAfter(
-                () -> {
-                    isStalled();
-                    beatAgain(stallDetector.heartbeat(clock.now()));
-                },
-                Math.max(0, due - clock.now()),
-                TimeUnit.NANOSECONDS);
+        schedule(time, task);
     }
 
     @Override
     public boolean isStalled() {
         if (stallDetector.isStalled(clock.now()) && !catchingUp) {
             catchingUp = true;
-            afterReading(this::caughtUp);
+            afterReading(this::endStall);
         }
         return catchingUp;
     }
 
-    private void caughtUp() {
-        catchingUp = false;
-        long ns = stallDetector.endStall();
-        if (ns > NOTEWORTHY_NS) {
-            System.err.println("late: the I/O thread was away for " + ns / Clock.MS + " ms");
-        }
-        guarded(() -> away.accept(ns));
-        for (int left = deferred.size(); left > 0; left--) {
-            guarded(deferred.poll());
-        }
-    }
-
     /**
-     * A byte through a pipe: it is read in a pass over the sockets, and tasks run after such a pass. Nothing less tells
-     * that a pass was made: a task that is due at once runs before the next one.
+     * {@inheritDoc}
+     *
+     * <p>A byte is written into a pipe: it is read in a pass over the sockets, and the tasks run after such a pass.
+     * Nothing less shows that there was one, since XNIO runs a task that is due at once before the next pass.
      */
     @Override
     public void afterReading(Runnable task) {
-        reading.add(task);
-        if (!marked) {
-            marked = true;
-            one.clear().limit(1);
-            try {
-                marker.write(one);
-            } catch (IOException e) {
-                throw new IllegalStateException("the I/O thread's own pipe", e);
-            }
+        tasksAfterReading.add(task);
+        if (markerInPipe) {
+            return;
+        }
+        markerInPipe = true;
+        markerBuffer.clear().limit(1);
+        try {
+            markerSink.write(markerBuffer);
+        } catch (IOException e) {
+            throw new IllegalStateException("the I/O thread's own pipe", e);
         }
     }
 
-    private void passed(StreamSourceChannel from) {
-        one.clear();
+    private void markerArrived(StreamSourceChannel pipe) {
+        markerBuffer.clear();
         try {
-            while (from.read(one) > 0) {
-                one.clear();
+            while (pipe.read(markerBuffer) > 0) {
+                markerBuffer.clear();
             }
         } catch (IOException e) {
             throw new IllegalStateException("the I/O thread's own pipe", e);
         }
-        marked = false;
-        int waiting = reading.size();
-        thread.execute(
-                () -> { // the other sockets of this pass come first
-                    for (int left = waiting; left > 0; left--) {
-                        guarded(reading.poll());
-                    }
-                });
+        markerInPipe = false;
+        int count = tasksAfterReading.size();
+        thread.execute(() -> runFirst(count, tasksAfterReading)); // the other sockets of this pass come first
+    }
+
+    private void scheduleHeartbeat(long time) {
+        thread.executeAfter(this::beat, delayNs(time), TimeUnit.NANOSECONDS);
+    }
+
+    private void beat() {
+        isStalled();
+        scheduleHeartbeat(stallDetector.heartbeat(clock.now()));
     }
 
-    private void inTime(Runnable task) {
+    private void endStall() {
+        catchingUp = false;
+        long ns = stallDetector.endStall();
+        if (ns > LOGGED_STALL_NS) {
+            System.err.println("late: the I/O thread was away for " + ns / Clock.MS + " ms");
+        }
+        runGuarded(() -> onStall.accept(ns));
+        runFirst(deferredTasks.size(), deferredTasks);
+    }
+
+    private long delayNs(long time) {
+        return Math.max(0, time - clock.now());
+    }
+
+    private void runOrDefer(Runnable task) {
         if (isStalled()) {
-            deferred.add(task);
+            deferredTasks.add(task);
         } else {
-            guarded(task);
+            runGuarded(task);
+        }
+    }
+
+    /** Runs as many of these tasks as there are now; those that they add wait for the next time. */
+    private static void runFirst(int count, ArrayDeque<Runnable> tasks) {
+        for (int left = count; left > 0; left--) {
+            runGuarded(tasks.poll());
         }
     }
 
     @SuppressWarnings("CatchAndPrintStackTrace") // the loop goes on whatever a task throws, and the trace is its report
-    private static void guarded(Runnable task) {
+    private static void runGuarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
--- a/src/main/java/elderseam/http/RequestHeadValidator.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -6,106 +6,130 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Looks over the heads that pass, line by line: Undertow's parser takes "a line with no colon" for a header named "a",
- * and a name with a blank behind it for that name. What follows a head passes unseen until the next one is told.
+ * Validates the lines of each request head as its bytes pass to Undertow, whose parser takes a line without a colon for
+ * a header, and accepts white space before the colon (RFC 9112, section 5.1, forbids it). What follows a head passes
+ * unseen until {@link #beginHead}.
  *
- * <p>Of a connection that is {@link #drop ending} it reads and drops what still comes: Undertow's own close waits for one byte
- * and then closes over the rest, which resets the connection, and the answer that is on its way goes with it.
+ * <p>On a lingering connection it reads and discards what still arrives ({@link #discardInput}): Undertow's own close
+ * waits for one byte and closes over the rest, which resets the connection and loses the response on its way. Confined
+ * to the I/O thread.
  */
 final class RequestHeadValidator extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private static final int MOST_DROPPED =
-            256 << 10; // who sends more than that to a half-closed connection is not waited for
-    private static final ByteBuffer DROPPED = ByteBuffer.allocateDirect(16 << 10); // of the one I/O thread
-    private boolean inHead, firstLine, named, bad, drops;
-    private int length, dropped;
+    /** A client that sends more than this to a lingering connection is not waited for. */
+    private static final int MAX_DISCARDED_BYTES = 256 << 10;
+
+    private static final int END_OF_STREAM = -1;
+    private static final int BYTE_MASK = 0xff;
+
+    /** Shared by all connections, which have one I/O thread. */
+    private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(16 << 10);
+
+    private boolean inHead;
+    private boolean inRequestLine;
+    private boolean colonSeen; // in the current line
+    private boolean malformed;
+    private boolean discarding;
+    private int lineLength;
+    private int discardedBytes;
 
     RequestHeadValidator(StreamSourceConduit next) {
         super(next);
-        next();
+        beginHead();
     }
 
     /** The next byte begins a head. */
-    void next() {
+    void beginHead() {
         inHead = true;
-        firstLine = true;
-        bad = false;
-        length = 0;
+        inRequestLine = true;
+        malformed = false;
+        lineLength = 0;
     }
 
-    /** Whether a byte of a head has come. */
-    boolean begun() {
-        return !inHead || !firstLine || length > 0;
+    /** Whether a byte of the current request has passed. */
+    boolean hasBegun() {
+        return !inHead || !inRequestLine || lineLength > 0;
     }
 
-    /** Whether the head that has passed was none. */
-    boolean bad() {
-        return bad;
+    /** Whether the head that has passed was malformed. */
+    boolean isMalformed() {
+        return malformed;
     }
 
-    /** From now on nothing is handed on: 0 while more may come, -1 at the end, or once it is too much. */
-    void drop() {
-        drops = true;
+    /** Passes nothing on from now on: reads return 0 while more may come, and the end of the stream after it or the bound. */
+    void discardInput() {
+        discarding = true;
     }
 
-    private int dropping() throws IOException {
-        while (dropped < MOST_DROPPED) {
-            DROPPED.clear();
-            int n = super.read(DROPPED);
-            if (n <= 0) {
-                return n;
-            }
-            dropped += n;
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+        if (discarding) {
+            return discard();
         }
-        return -1;
+        int start = target.position();
+        int count = super.read(target);
+        validate(target, start);
+        return count;
     }
 
     @Override
-    public int read(ByteBuffer to) throws IOException {
-        if (drops) {
-            return dropping();
+    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        if (discarding) {
+            return discard();
+        }
+        int[] starts = new int[length];
+        for (int i = 0; i < length; i++) {
+            starts[i] = targets[offset + i].position();
         }
-        int from = to.position();
-        int n = super.read(to);
-        look(to, from);
-        return n;
+        long count = super.read(targets, offset, length);
+        for (int i = 0; i < length; i++) {
+            validate(targets[offset + i], starts[i]);
+        }
+        return count;
     }
 
-    @Override
-    public long read(ByteBuffer[] to, int offset, int count) throws IOException {
-        if (drops) {
-            return dropping();
-        }
-        int[] from = new int[count];
-        for (int i = 0; i < count; i++) {
-            from[i] = to[offset + i].position();
+    private int discard() throws IOException {
+        while (discardedBytes < MAX_DISCARDED_BYTES) {
+            DISCARD_BUFFER.clear();
+            int count = super.read(DISCARD_BUFFER);
+            if (count <= 0) {
+                return count;
+            }
+            discardedBytes += count;
         }
-        long n = super.read(to, offset, count);
-        for (int i = 0; i < count; i++) {
-            look(to[offset + i], from[i]);
+        return END_OF_STREAM;
+    }
+
+    private void validate(ByteBuffer bytes, int start) {
+        for (int i = start; inHead && i < bytes.position(); i++) {
+            validate((char) (bytes.get(i) & BYTE_MASK));
         }
-        return n;
     }
 
-    private void look(ByteBuffer bytes, int from) {
-        for (int i = from; inHead && i < bytes.position(); i++) {
-            look((char) (bytes.get(i) & 0xff));
+    private void validate(char character) {
+        if (character == '\n') {
+            endOfLine();
+        } else if (character != '\r') {
+            lineLength++;
+            malformed |= isForbidden(character);
+            colonSeen |= !inRequestLine && character == ':';
         }
     }
 
-    private void look(char c) {
-        if (c == '\n') {
-            if (length == 0) {
-                inHead = firstLine; // empty lines before a request are passed over
-                return;
-            }
-            bad |= !firstLine && !named;
-            firstLine = false;
-            named = false;
-            length = 0;
-        } else if (c != '\r') {
-            length++;
-            bad |= (c < ' ' && c != '\t') || (!firstLine && !named && (c <= ' ' || (c == ':' && length == 1)));
-            named |= !firstLine && c == ':';
+    private void endOfLine() {
+        if (lineLength == 0) {
+            inHead = inRequestLine; // empty lines before a request are skipped
+            return;
         }
+        malformed |= !inRequestLine && !colonSeen;
+        inRequestLine = false;
+        colonSeen = false;
+        lineLength = 0;
+    }
+
+    private boolean isForbidden(char character) {
+        boolean control = character < ' ' && character != '\t';
+        boolean inHeaderName = !inRequestLine && !colonSeen;
+        boolean emptyName = character == ':' && lineLength == 1;
+        return control || (inHeaderName && (character <= ' ' || emptyName));
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/http/RequestReceiver.java
@@ -0,0 +1,176 @@
+package elderseam.http;
+
+import elderseam.http.HttpServer.Handler;
+import elderseam.http.HttpServer.Request;
+import io.undertow.io.Receiver;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/**
+ * Takes each request from Undertow: refuses what is malformed or too large, reads the body, passes the complete request
+ * to the handler and sends its response. Confined to the I/O thread.
+ */
+final class RequestReceiver implements HttpHandler {
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
+
+    private final ClientConnections connections;
+    private final int maxBodyBytes;
+    private final Handler handler;
+    private boolean closeAfterResponse;
+
+    RequestReceiver(ClientConnections connections, int maxBodyBytes, Handler handler) {
+        this.connections = connections;
+        this.maxBodyBytes = maxBodyBytes;
+        this.handler = handler;
+    }
+
+    /** Whether each response from now on is the last on its connection. */
+    void closeAfterResponse(boolean close) {
+        closeAfterResponse = close;
+    }
+
+    /** The head of a request has arrived. */
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        ClientConnection connection = connections.get(channel(exchange));
+        if (connection == null) { // closed meanwhile
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            if (completed.isPersistent()) {
+                connection.responseWritten();
+            } else {
+                connection.beginLingering();
+            }
+            next.proceed();
+        });
+        long length = exchange.getRequestContentLength();
+        boolean reserved = connection.requestBegins(length < 0 ? maxBodyBytes : Math.min(length, maxBodyBytes));
+        if (connection.isHeadMalformed() || !isUnambiguouslyFramed(exchange.getRequestHeaders())) {
+            refuse(exchange, StatusCodes.BAD_REQUEST);
+        } else if (length > maxBodyBytes) {
+            refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+        } else if (!reserved) {
+            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+        } else {
+            receiveBody(exchange, connection);
+        }
+    }
+
+    private void receiveBody(HttpServerExchange exchange, ClientConnection connection) {
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(maxBodyBytes);
+        receiver.receiveFullBytes(
+                (received, body) -> {
+                    connection.requestReceived();
+                    received.dispatch(SameThreadExecutor.INSTANCE, () -> handle(received, body));
+                },
+                (failed, error) -> refuse(failed, statusOf(error)));
+    }
+
+    private static int statusOf(IOException error) {
+        boolean tooLarge = error instanceof Receiver.RequestToLargeException || error instanceof RequestTooBigException;
+        return tooLarge ? StatusCodes.REQUEST_ENTITY_TOO_LARGE : StatusCodes.BAD_REQUEST;
+    }
+
+    private static StreamConnection channel(HttpServerExchange exchange) {
+        return ((AbstractServerConnection) exchange.getConnection()).getChannel();
+    }
+
+    /**
+     * Whether the length of the body is given once and plainly: two readings of it could hide a further request
+     * (request smuggling, RFC 9112, section 11.2).
+     */
+    private static boolean isUnambiguouslyFramed(HeaderMap headers) {
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+        HeaderValues encodings = headers.get(Headers.TRANSFER_ENCODING);
+        if (lengths == null) {
+            return encodings == null || isChunked(encodings);
+        }
+        return encodings == null
+                && lengths.size() == 1
+                && CONTENT_LENGTH.matcher(lengths.getFirst()).matches();
+    }
+
+    private static boolean isChunked(HeaderValues encodings) {
+        return encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked");
+    }
+
+    /** Whether more than the request has arrived: its length was wrong, or another was sent before the response. */
+    private static boolean hasSurplusInput(HttpServerExchange exchange) {
+        AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
+        if (connection.getExtraBytes() != null
+                && connection.getExtraBytes().getBuffer().hasRemaining()) {
+            return true;
+        }
+        try {
+            return connection.getOriginalSourceConduit().read(ByteBuffer.allocate(1)) > 0;
+        } catch (IOException e) {
+            return false; // the client is gone, as the response will find
+        }
+    }
+
+    /**
+     * Refuses a request and closes its connection, since it is unknown where the next request would begin. The exchange
+     * is dispatched, so that Undertow does not end it with a response of its own and a close over what is unread.
+     */
+    private void refuse(HttpServerExchange exchange, int statusCode) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            ClientConnection connection = connections.get(channel(exchange));
+            if (connection != null && !exchange.isResponseStarted()) {
+                connection.refuse(statusCode);
+            }
+        });
+    }
+
+    private void handle(HttpServerExchange exchange, byte[] body) {
+        if (hasSurplusInput(exchange)) {
+            refuse(exchange, StatusCodes.BAD_REQUEST);
+            return;
+        }
+        Request request = new Request(
+                exchange.getRequestMethod().toString(),
+                exchange.getRequestPath(),
+                exchange.getRequestHeaders(),
+                body,
+                exchange.getSourceAddress());
+        try {
+            handler.handle(request, (code, headers, text) -> answer(exchange, code, headers, text));
+        } catch (RuntimeException e) { // the fault of one request must not reach another
+            e.printStackTrace();
+            if (!exchange.isResponseStarted()) {
+                answer(exchange, StatusCodes.INTERNAL_SERVER_ERROR, Map.of(), "");
+            }
+        }
+    }
+
+    private void answer(HttpServerExchange exchange, int statusCode, Map<String, String> headers, String body) {
+        ClientConnection connection = connections.get(channel(exchange));
+        if (connection == null || exchange.isResponseStarted()) {
+            return;
+        }
+        connection.responseBegins();
+        exchange.setStatusCode(statusCode);
+        headers.forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
+        if (closeAfterResponse) {
+            exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- a/src/main/java/elderseam/http/XnioStartup.java
+++ b/src/main/java/elderseam/http/XnioStartup.java
@@ -5,38 +5,49 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** What XNIO does of its own accord at a start, and nobody here reads. */
+/**
+ * Switches off what XNIO does at its start and nobody here uses: its MBeans and its greeting. It concerns the whole
+ * process; {@link #configure} is called once, before other threads use XNIO.
+ */
 public final class XnioStartup {
-    /** Held, since a logger that nobody holds forgets its level. */
-    private static final List<Logger> QUIET = new ArrayList<>();
+    private static final String MBEAN_SERVER_BUILDER = "javax.management.builder.initial";
 
-    private static volatile boolean manageable;
+    /** A class that does not exist: XNIO then goes without MBeans. */
+    private static final String NO_BUILDER = "none";
+
+    /** Strong references, since java.util.logging forgets the level of a logger that is garbage-collected. */
+    private static final List<Logger> QUIET_LOGGERS = new ArrayList<>();
+
+    private static volatile boolean managementNeeded;
 
     private XnioStartup() {}
 
     /**
-     * To be called before the first {@link IoLoop}. XNIO registers MBeans, for which the JVM's whole management starts (a fifth of
-     * the CPU of a start, and 7 MB), and greets with its version. An operator who asks for JMX on the command line has it still:
-     * that starts before.
+     * Must be called before the first {@link IoLoop} is created. The MBeans that XNIO registers start the JVM's whole
+     * management (a fifth of the CPU time of a start, and 7 MB). An operator who asks for JMX on the command line still
+     * has it, since that starts earlier.
      */
-    public static void start() {
-        if (!manageable
-                && System.getProperty("javax.management.builder.initial") == null
+    public static void configure() {
+        if (!managementNeeded
+                && System.getProperty(MBEAN_SERVER_BUILDER) == null
                 && System.getProperty("com.sun.management.jmxremote") == null) {
-            System.setProperty("javax.management.builder.initial", "none");
+            System.setProperty(MBEAN_SERVER_BUILDER, NO_BUILDER);
         }
         for (String name : List.of("org.xnio", "org.jboss.threads", "io.undertow")) {
             Logger logger = Logger.getLogger(name);
             logger.setLevel(Level.WARNING);
-            QUIET.add(logger);
+            QUIET_LOGGERS.add(logger);
         }
     }
 
-    /** To be called before the start of an engine that does not begin without MBeans: what XNIO registers is spared by then. */
-    public static void manageable() {
-        manageable = true; // no later start in this process takes it back
-        if ("none".equals(System.getProperty("javax.management.builder.initial"))) {
-            System.clearProperty("javax.management.builder.initial");
+    /**
+     * Must be called before a library is started that can't do without MBeans; XNIO has started without them by then.
+     * A later {@link #configure} does not undo it.
+     */
+    public static void enableManagement() {
+        managementNeeded = true;
+        if (NO_BUILDER.equals(System.getProperty(MBEAN_SERVER_BUILDER))) {
+            System.clearProperty(MBEAN_SERVER_BUILDER);
         }
     }
 }
--- a/src/main/java/elderseam/testkit/faults/ExternalServices.java
+++ b/src/main/java/elderseam/testkit/faults/ExternalServices.java
@@ -45,7 +45,7 @@
 
     /** {@code members}: as the dispatchers are told; {@code endpoints}: of the first destination's partner. */
     ExternalServices(int members, int endpoints) throws IOException {
-        XnioStartup.start();
+        XnioStartup.configure();
         this.members = members;
         this.calls = new AtomicLongArray(endpoints);
         io = new IoLoop(new Clock());
--- a/src/main/java/org/xnio/nio/InheritedListener.java
+++ b/src/main/java/org/xnio/nio/InheritedListener.java
@@ -12,45 +12,52 @@
 import org.xnio.XnioIoThread;
 
 /**
- * A listening socket that this process was given, not bound by it. XNIO makes its connections from sockets that it has accepted
- * itself, by classes that only this package sees; so this one stands here, and does no more than accept and hand over. All of it
- * runs on the I/O thread.
+ * Accepts connections from a listening socket that this process inherited. XNIO itself only accepts from sockets that it
+ * has bound, and creates connections by classes that only this package sees, hence the package. Confined to the I/O
+ * thread.
  */
 public final class InheritedListener extends NioHandle {
-    private static final int AT_ONCE = 64; // accepted before other sockets have their turn
+    /** How many connections are accepted before other sockets have their turn. */
+    private static final int MAX_ACCEPTS_PER_EVENT = 64;
 
     private final WorkerThread thread;
     private final ServerSocketChannel socket;
-    private final ChannelListener<? super StreamConnection> opened;
+    private final ChannelListener<? super StreamConnection> onConnection;
 
     private InheritedListener(
             WorkerThread thread,
             SelectionKey key,
             ServerSocketChannel socket,
-            ChannelListener<? super StreamConnection> opened) {
+            ChannelListener<? super StreamConnection> onConnection) {
         super(thread, key);
         this.thread = thread;
         this.socket = socket;
-        this.opened = opened;
+        this.onConnection = onConnection;
     }
 
-    /** On that I/O thread, to be called there; it accepts once {@link #resume()} is called. */
-    public static InheritedListener on(
-            XnioIoThread thread, ServerSocketChannel socket, ChannelListener<? super StreamConnection> opened)
+    /**
+     * Registers a listening socket with an I/O thread, on which this must be called. Nothing is accepted before {@link
+     * #resume()}.
+     *
+     * @throws IOException if the socket is closed
+     */
+    public static InheritedListener register(
+            XnioIoThread thread, ServerSocketChannel socket, ChannelListener<? super StreamConnection> onConnection)
             throws IOException {
-        WorkerThread worker = (WorkerThread) thread;
+        WorkerThread workerThread = (WorkerThread) thread;
         socket.configureBlocking(false);
-        SelectionKey key = worker.registerChannel(socket);
-        InheritedListener listener = new InheritedListener(worker, key, socket, opened);
+        SelectionKey key = workerThread.registerChannel(socket);
+        InheritedListener listener = new InheritedListener(workerThread, key, socket, onConnection);
         key.attach(listener);
         return listener;
     }
 
+    /** Accepts connections from now on. */
     public void resume() {
         resume(SelectionKey.OP_ACCEPT);
     }
 
-    /** What connects waits at the socket, for whoever accepts there. */
+    /** Accepts nothing from now on: new connections wait at the socket, for whichever process accepts there. */
     public void suspend() {
         suspend(SelectionKey.OP_ACCEPT);
     }
@@ -58,24 +65,24 @@
     @Override
     void handleReady(int ops) {
         try {
-            for (int i = 0; i < AT_ONCE; i++) {
+            for (int i = 0; i < MAX_ACCEPTS_PER_EVENT; i++) {
                 SocketChannel accepted = socket.accept();
-                if (accepted == null) { // another process was faster
+                if (accepted == null) { // none left, or another process was faster
                     return;
                 }
-                handOver(accepted);
+                open(accepted);
             }
         } catch (IOException e) {
             System.err.println("accept: " + e);
         }
     }
 
-    private void handOver(SocketChannel accepted) {
+    private void open(SocketChannel accepted) {
         try {
             accepted.configureBlocking(false);
             accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
             SelectionKey key = thread.registerChannel(accepted);
-            ChannelListeners.invokeChannelListener(new NioSocketStreamConnection(thread, key, () -> {}), opened);
+            ChannelListeners.invokeChannelListener(new NioSocketStreamConnection(thread, key, () -> {}), onConnection);
         } catch (IOException e) {
             IoUtils.safeClose(accepted);
         }
--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -127,7 +127,7 @@
             long by = io.clock.now() + 10_000 * Clock.MS;
             for (boolean before : List.of(true, false)) {
                 CompletableFuture<HttpResult> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
-                CompletableFuture<EndpointConnectionPool.Request> request = new CompletableFuture<>();
+                CompletableFuture<EndpointExchange> request = new CompletableFuture<>();
                 io.run(() -> request.complete(
                         connections.send(host, call, by, by, () -> true, () -> {}, late::complete, reply::complete)));
                 try (Socket s = server.accept()) {
@@ -141,13 +141,13 @@
                         io.run(
                                 () -> { // the I/O thread is here: it has not read the answer when it gives up
                                     written.join();
-                                    request.join().abandon();
+                                    request.join().cancel();
                                 });
                         s.getOutputStream().write(answer);
                         written.complete(null);
                         assertEquals(429, reply.get(20, TimeUnit.SECONDS).code());
                     } else {
-                        io.run(() -> request.join().abandon());
+                        io.run(() -> request.join().cancel());
                         check(Progress.WRITTEN, Status.ABANDONED, reply);
                         assertEquals(-1, in.read(), "our sending has ended: the call is given up");
                         s.getOutputStream().write(answer);
@@ -163,7 +163,7 @@
     void noRequestIsEndedToMakeRoom() throws Exception {
         try (ServerSocket one = new ServerSocket(0, 1, HERE);
                 ServerSocket other = new ServerSocket(0, 1, HERE)) {
-            io.run(() -> connections.most(1));
+            io.run(() -> connections.setMaxConnections(1));
             CompletableFuture<HttpResult> first = send(one.getLocalPort(), 10, 5_000);
             Socket carrying = one.accept();
             head(carrying.getInputStream());
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -112,7 +112,7 @@
     @Test
     void aRestingConnectionEndsInOrderThoughMuchCrosses() throws Exception {
         Socket s = resting();
-        onIo(server::closeIdle);
+        onIo(server::closeIdleConnections);
         send(s, GET + "x".repeat(100_000));
         send(s, GET);
         assertEquals("", rest(s), "nothing that is read after the end is answered");
@@ -131,7 +131,7 @@
         io.run(
                 () -> { // the I/O thread is here: it has not read the request when it is told to close
                     sent.join();
-                    server.closeIdle();
+                    server.closeIdleConnections();
                     io.afterReading(() -> done.complete(null));
                 });
         send(s, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -148,8 +148,8 @@
         Socket s = resting();
         send(s, GET.substring(0, 20));
         onIo(() -> {}); // read by then
-        onIo(server::closeIdle);
-        onIo(server::endConnections);
+        onIo(server::closeIdleConnections);
+        onIo(server::closeAllButActive);
         send(s, GET.substring(20));
         assertTrue(answer(s).startsWith("HTTP/1.1 200"));
     }
@@ -243,8 +243,8 @@
     void aFreshConnectionIsToldToComeAgainAtTheEnd() throws Exception {
         Socket fresh = client(""), busy = client("GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
         HttpServer.Answerer to = asked.poll(20, TimeUnit.SECONDS);
-        onIo(() -> server.closing(true));
-        onIo(server::endConnections);
+        onIo(() -> server.closeAfterResponse(true));
+        onIo(server::closeAllButActive);
         send(fresh, GET);
         assertTrue(answer(fresh).startsWith("HTTP/1.1 503"));
         assertEquals("", rest(fresh));
@@ -275,7 +275,7 @@
         onIo(() -> {
             try {
                 List<Boolean> set = new ArrayList<>();
-                for (org.xnio.StreamConnection c : server.downstreams.open.keySet()) {
+                for (org.xnio.StreamConnection c : server.clientConnections.byChannel.keySet()) {
                     set.add(c.getOption(Options.TCP_NODELAY));
                 }
                 set.add(connections.idle.get(self).peekLast().channel.getOption(Options.TCP_NODELAY));
--- a/src/test/java/elderseam/http/InheritedListenerTest.java
+++ b/src/test/java/elderseam/http/InheritedListenerTest.java
@@ -70,7 +70,7 @@
             HttpServer newer = server(io, socket, "newer");
             assertEquals("newer", ask(between));
             assertEquals("older", ask(kept), "a connection stays where it was accepted, and is kept");
-            assertTrue(newer.open() >= 1);
+            assertTrue(newer.openConnections() >= 1);
             kept.close();
             between.close();
         }
--- a/src/test/java/elderseam/scenario/DishonestMember.java
+++ b/src/test/java/elderseam/scenario/DishonestMember.java
@@ -21,7 +21,7 @@
     public static void main(String[] args) throws Exception {
         GossipConfiguration opening =
                 GossipConfiguration.read(Settings.read(Path.of(args[0]), SettingKeys.ALL, SettingKeys.CONTRADICTIONS));
-        XnioStartup.start();
+        XnioStartup.configure();
         IoLoop io = new IoLoop(new Clock());
         io.run(() -> {
             try {
