--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -6,10 +6,12 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -17,163 +19,229 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-/** How far an attempt had come when it broke: only past its last byte may the other side have run it. */
+/** How far an exchange had come when it broke: only after its last byte was written may the endpoint have run it. */
 class AttemptProgressTest {
-    private static final InetAddress HERE = here(); // where no other test listens: a port given back stays free
+    /** No other test listens here, so that a port that was closed stays free. */
+    private static final InetAddress LOCAL = localAddress();
+
+    private static final int TIMEOUT_S = 20;
+    private static final long CONNECT_TIMEOUT_MS = 5_000;
+    private static final long ANSWER_TIMEOUT_NS = 10_000 * Clock.MS;
+    private static final int SMALL_BODY_BYTES = 10;
+    private static final int BODY_BEYOND_SOCKET_BUFFERS = 32 << 20;
+    private static final String END_OF_HEAD = "\r\n\r\n";
+    private static final byte[] TOO_MANY_REQUESTS =
+            "HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                    .getBytes(UTF_8);
+
     private final IoLoop io;
     private final EndpointConnectionPool connections;
 
-    AttemptProgressTest() throws Exception {
+    AttemptProgressTest() throws IOException {
         io = new IoLoop(new Clock());
         connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, 50, 64 << 10);
     }
 
-    private static InetAddress here() {
+    private static InetAddress localAddress() {
         try {
             return InetAddress.getByAddress(new byte[] {127, 99, 0, 1});
-        } catch (java.net.UnknownHostException e) {
+        } catch (UnknownHostException e) {
             throw new IllegalStateException(e);
         }
     }
 
-    private CompletableFuture<HttpResult> send(int port, int bytes, long connectMs) {
-        CompletableFuture<HttpResult> reply = new CompletableFuture<>();
-        long by = io.clock.now() + 10_000 * Clock.MS;
+    private static EndpointAddress endpoint(ServerSocket server) {
+        return new EndpointAddress("h", LOCAL.getHostAddress() + ":" + server.getLocalPort());
+    }
+
+    private static HttpRequest post(String path, int bodyBytes) {
+        return new HttpRequest("POST", path, Map.of(), new byte[bodyBytes]);
+    }
+
+    /** Sends a request with a body of that length. */
+    private CompletableFuture<HttpResult> send(ServerSocket server, int bodyBytes, long connectTimeoutMs) {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        long answerBy = answerBy();
         io.run(() -> connections.send(
-                new EndpointAddress("h", HERE.getHostAddress() + ":" + port),
-                new HttpRequest("POST", "/x", Map.of(), new byte[bytes]),
-                io.clock.now() + connectMs * Clock.MS,
-                by,
-                reply::complete));
-        return reply;
+                endpoint(server),
+                post("/x", bodyBytes),
+                io.clock.now() + connectTimeoutMs * Clock.MS,
+                answerBy,
+                result::complete));
+        return result;
     }
 
-    private static void check(Progress progress, Status failure, CompletableFuture<HttpResult> reply) throws Exception {
-        HttpResult r = reply.get(20, TimeUnit.SECONDS);
-        assertEquals(List.of(progress, failure), List.of(r.progress(), r.failure()));
+    private long answerBy() {
+        return io.clock.now() + ANSWER_TIMEOUT_NS;
     }
 
-    /** Reads to the end of the headers. */
-    private static void head(InputStream in) throws java.io.IOException {
-        for (int seen = 0; seen < 4; ) {
-            seen = in.read() == "\r\n\r\n".charAt(seen) ? seen + 1 : 0;
+    private static HttpResult await(CompletableFuture<HttpResult> result) throws Exception {
+        return result.get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private static void assertFailed(Progress progress, Status failure, CompletableFuture<HttpResult> future)
+            throws Exception {
+        HttpResult result = await(future);
+        assertEquals(List.of(progress, failure), List.of(result.progress(), result.failure()));
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        int matched = 0;
+        while (matched < END_OF_HEAD.length()) {
+            matched = in.read() == END_OF_HEAD.charAt(matched) ? matched + 1 : 0;
         }
     }
 
+    /** Reads the head and the body of a request with a small body. */
+    private static void readSmallRequest(Socket socket) throws IOException {
+        readHead(socket.getInputStream());
+        socket.getInputStream().readNBytes(SMALL_BODY_BYTES);
+    }
+
+    /** Its close will be a reset. */
+    private static void resetOnClose(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+    }
+
     @Test
     void aRefusedConnection() throws Exception {
-        ServerSocket server = new ServerSocket(0, 1, HERE);
+        ServerSocket server = new ServerSocket(0, 1, LOCAL);
         server.close();
-        check(Progress.NOT_CONNECTED, Status.BROKEN, send(server.getLocalPort(), 10, 5_000));
+        assertFailed(Progress.NOT_CONNECTED, Status.BROKEN, send(server, SMALL_BODY_BYTES, CONNECT_TIMEOUT_MS));
     }
 
-    /** A full backlog takes no more: the connection never comes up, as with a host that has vanished. */
+    /** A full backlog takes no more connections, as with a host that has vanished. */
     @Test
-    void aConnectionThatNeverComesUp() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            List<CompletableFuture<HttpResult>> replies = new ArrayList<>();
+    void aConnectionThatIsNeverEstablished() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, LOCAL)) {
+            List<CompletableFuture<HttpResult>> results = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                replies.add(send(server.getLocalPort(), 10, 700));
+                results.add(send(server, SMALL_BODY_BYTES, 700));
             }
-            check(Progress.NOT_CONNECTED, Status.TIMED_OUT, replies.get(5));
+            assertFailed(Progress.NOT_CONNECTED, Status.TIMED_OUT, results.get(5));
         }
     }
 
     @Test
-    void aBreakBeforeAndAfterTheLastByte() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            CompletableFuture<HttpResult> large = send(server.getLocalPort(), 32 << 20, 5_000);
-            try (Socket s = server.accept()) {
-                s.getInputStream().readNBytes(100);
-                s.setSoLinger(true, 0);
+    void aResetBeforeAndAfterTheLastByte() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, LOCAL)) {
+            CompletableFuture<HttpResult> large = send(server, BODY_BEYOND_SOCKET_BUFFERS, CONNECT_TIMEOUT_MS);
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().readNBytes(100);
+                resetOnClose(socket);
             }
-            check(Progress.PARTLY_WRITTEN, Status.BROKEN, large);
-            CompletableFuture<HttpResult> small = send(server.getLocalPort(), 10, 5_000);
-            try (Socket s = server.accept()) {
-                head(s.getInputStream());
-                s.getInputStream().readNBytes(10);
-                s.setSoLinger(true, 0);
+            assertFailed(Progress.PARTLY_WRITTEN, Status.BROKEN, large);
+            CompletableFuture<HttpResult> small = send(server, SMALL_BODY_BYTES, CONNECT_TIMEOUT_MS);
+            try (Socket socket = server.accept()) {
+                readSmallRequest(socket);
+                resetOnClose(socket);
             }
-            check(Progress.WRITTEN, Status.BROKEN, small);
+            assertFailed(Progress.WRITTEN, Status.BROKEN, small);
         }
     }
 
-    /** The connection came up when the request was not to leave any more: not a byte does, and the connection serves again. */
+    /** By the time it was connected the request was not to be sent any more: nothing is, and the connection is kept. */
     @Test
-    void whatMayNotLeaveWritesNothing() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            EndpointAddress host = new EndpointAddress("h", HERE.getHostAddress() + ":" + server.getLocalPort());
-            HttpRequest call = new HttpRequest("POST", "/x", Map.of(), new byte[10]);
-            long by = io.clock.now() + 10_000 * Clock.MS;
-            CompletableFuture<HttpResult> held = new CompletableFuture<>(), sent = new CompletableFuture<>();
-            io.run(() -> connections.send(host, call, by, by, () -> false, () -> {}, null, held::complete));
-            check(Progress.NOT_CONNECTED, Status.HELD, held);
+    void aRequestThatMayNotBeSentWritesNothing() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, LOCAL)) {
+            EndpointAddress endpoint = endpoint(server);
+            long deadline = answerBy();
+            CompletableFuture<HttpResult> held = new CompletableFuture<>();
             io.run(() -> connections.send(
-                    host, new HttpRequest("POST", "/later", Map.of(), new byte[0]), by, by, sent::complete));
-            try (Socket s = server.accept()) {
-                assertEquals("POST /later", new String(s.getInputStream().readNBytes(11), UTF_8));
-                s.setSoLinger(true, 0);
+                    endpoint,
+                    post("/x", SMALL_BODY_BYTES),
+                    deadline,
+                    deadline,
+                    () -> false,
+                    () -> {},
+                    null,
+                    held::complete));
+            assertFailed(Progress.NOT_CONNECTED, Status.HELD, held);
+            CompletableFuture<HttpResult> sent = new CompletableFuture<>();
+            io.run(() -> connections.send(endpoint, post("/later", 0), deadline, deadline, sent::complete));
+            try (Socket socket = server.accept()) {
+                byte[] firstBytes = socket.getInputStream().readNBytes("POST /later".length());
+                assertEquals("POST /later", new String(firstBytes, UTF_8));
+                resetOnClose(socket);
+            }
+            assertFailed(Progress.WRITTEN, Status.BROKEN, sent);
+        }
+    }
+
+    /** An exchange that was sent, with its result and its late result. */
+    private final class CancellableExchange {
+        final CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        final CompletableFuture<HttpResult> lateResult = new CompletableFuture<>();
+        private final CompletableFuture<EndpointExchange> exchange = new CompletableFuture<>();
+
+        CancellableExchange(ServerSocket server) {
+            long deadline = answerBy();
+            io.run(() -> exchange.complete(connections.send(
+                    endpoint(server),
+                    post("/x", 0),
+                    deadline,
+                    deadline,
+                    () -> true,
+                    () -> {},
+                    lateResult::complete,
+                    result::complete)));
+        }
+
+        /** Called on the I/O thread. */
+        void cancel() {
+            exchange.join().cancel();
+        }
+    }
+
+    @Test
+    void aResponseThatHasArrivedCountsBeforeACancellation() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, LOCAL)) {
+            CancellableExchange exchange = new CancellableExchange(server);
+            try (Socket socket = server.accept()) {
+                readHead(socket.getInputStream());
+                CompletableFuture<Void> written = new CompletableFuture<>();
+                io.run(() -> {
+                    written.join(); // the I/O thread waits here, and has not read the response when it cancels
+                    exchange.cancel();
+                });
+                socket.getOutputStream().write(TOO_MANY_REQUESTS);
+                written.complete(null);
+                assertEquals(429, await(exchange.result).code());
             }
-            check(Progress.WRITTEN, Status.BROKEN, sent);
         }
     }
 
-    /** Given up when its answer lies in the socket: the answer counts. Given up before: it is told later, once. */
     @Test
-    void anAnswerThatHasArrivedCountsBeforeAnyGivingUp() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 1, HERE)) {
-            EndpointAddress host = new EndpointAddress("h", HERE.getHostAddress() + ":" + server.getLocalPort());
-            HttpRequest call = new HttpRequest("POST", "/x", Map.of(), new byte[0]);
-            long by = io.clock.now() + 10_000 * Clock.MS;
-            for (boolean before : List.of(true, false)) {
-                CompletableFuture<HttpResult> reply = new CompletableFuture<>(), late = new CompletableFuture<>();
-                CompletableFuture<EndpointExchange> request = new CompletableFuture<>();
-                io.run(() -> request.complete(
-                        connections.send(host, call, by, by, () -> true, () -> {}, late::complete, reply::complete)));
-                try (Socket s = server.accept()) {
-                    InputStream in = s.getInputStream();
-                    head(in);
-                    byte[] answer =
-                            "HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 900\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-                                    .getBytes(UTF_8);
-                    if (before) {
-                        CompletableFuture<Void> written = new CompletableFuture<>();
-                        io.run(
-                                () -> { // the I/O thread is here: it has not read the answer when it gives up
-                                    written.join();
-                                    request.join().cancel();
-                                });
-                        s.getOutputStream().write(answer);
-                        written.complete(null);
-                        assertEquals(429, reply.get(20, TimeUnit.SECONDS).code());
-                    } else {
-                        io.run(() -> request.join().cancel());
-                        check(Progress.WRITTEN, Status.ABANDONED, reply);
-                        assertEquals(-1, in.read(), "our sending has ended: the call is given up");
-                        s.getOutputStream().write(answer);
-                        assertEquals("900", late.get(20, TimeUnit.SECONDS).header("X-RateLimit-Wait-Ms"));
-                    }
-                }
+    void aResponseAfterACancellationIsTheLateResult() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, LOCAL)) {
+            CancellableExchange exchange = new CancellableExchange(server);
+            try (Socket socket = server.accept()) {
+                readHead(socket.getInputStream());
+                io.run(exchange::cancel);
+                assertFailed(Progress.WRITTEN, Status.ABANDONED, exchange.result);
+                assertEquals(-1, socket.getInputStream().read(), "the sending has ended");
+                socket.getOutputStream().write(TOO_MANY_REQUESTS);
+                assertEquals("900", await(exchange.lateResult).header("X-RateLimit-Wait-Ms"));
             }
         }
     }
 
-    /** Where no more may be open, one that carries a request stays, and the new request has not left; an idle one makes room. */
+    /** At the bound, a connection with a request stays and the new request is not sent; an idle one makes room. */
     @Test
     void noRequestIsEndedToMakeRoom() throws Exception {
-        try (ServerSocket one = new ServerSocket(0, 1, HERE);
-                ServerSocket other = new ServerSocket(0, 1, HERE)) {
+        try (ServerSocket busyServer = new ServerSocket(0, 1, LOCAL);
+                ServerSocket otherServer = new ServerSocket(0, 1, LOCAL)) {
             io.run(() -> connections.setMaxConnections(1));
-            CompletableFuture<HttpResult> first = send(one.getLocalPort(), 10, 5_000);
-            Socket carrying = one.accept();
-            head(carrying.getInputStream());
-            carrying.getInputStream().readNBytes(10);
-            check(Progress.NOT_CONNECTED, Status.BROKEN, send(other.getLocalPort(), 10, 5_000));
-            carrying.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(UTF_8));
-            assertEquals(200, first.get(20, TimeUnit.SECONDS).code());
-            CompletableFuture<HttpResult> unused = send(other.getLocalPort(), 10, 5_000);
-            head(other.accept().getInputStream());
-            assertEquals(-1, carrying.getInputStream().read());
+            CompletableFuture<HttpResult> first = send(busyServer, SMALL_BODY_BYTES, CONNECT_TIMEOUT_MS);
+            Socket busy = busyServer.accept();
+            readSmallRequest(busy);
+            CompletableFuture<HttpResult> beyondBound = send(otherServer, SMALL_BODY_BYTES, CONNECT_TIMEOUT_MS);
+            assertFailed(Progress.NOT_CONNECTED, Status.BROKEN, beyondBound);
+            busy.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(UTF_8));
+            assertEquals(200, await(first).code());
+            CompletableFuture<HttpResult> unused = send(otherServer, SMALL_BODY_BYTES, CONNECT_TIMEOUT_MS);
+            readHead(otherServer.accept().getInputStream());
+            assertEquals(-1, busy.getInputStream().read());
         }
     }
 }
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -1,6 +1,7 @@
 package elderseam.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.Clock;
@@ -21,41 +22,46 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 
-/** How downstream connections end: in order, over nothing unread, and none without an answer that a client waits for. */
+/** How client connections end: in order, with nothing left unread, and none without a response that a client waits for. */
 class ConnectionCloseTest {
     private static final String GET = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
-    private static final int MOST = 3;
+    private static final String GET_ANSWERED_LATER = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n";
+    private static final String TWO_LENGTHS =
+            "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n";
+    private static final String PART_OF_HEAD = GET.substring(0, 20);
+    private static final String REST_OF_HEAD = GET.substring(20);
+    private static final byte[] OWN_LOOPBACK_ADDRESS = {127, 99, 0, 2};
+    private static final int MAX_CONNECTIONS = 3;
+    private static final int MAX_BODY_BYTES = 64 << 10;
+    private static final int MAX_BODY_BYTES_IN_TRANSIT = 1 << 20;
+    private static final int TIMEOUT_S = 20;
+
+    /** Of the requests for anything but /now, which is answered at once. */
+    private final BlockingQueue<HttpServer.Answerer> answerers = new LinkedBlockingQueue<>();
 
-    private final BlockingQueue<HttpServer.Answerer> asked =
-            new LinkedBlockingQueue<>(); // of requests for anything but /now
     private final List<Socket> clients = new ArrayList<>();
     private IoLoop io;
     private HttpServer server;
 
     @BeforeEach
-    void serve() throws Exception {
+    void startServer() throws Exception {
         io = new IoLoop(new Clock());
         server = new HttpServer(
                 io,
-                new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 99, 0, 2}), 0),
-                64 << 10,
-                MOST,
-                1 << 20,
+                new InetSocketAddress(InetAddress.getByAddress(OWN_LOOPBACK_ADDRESS), 0),
+                MAX_BODY_BYTES,
+                MAX_CONNECTIONS,
+                MAX_BODY_BYTES_IN_TRANSIT,
                 null,
-                (r, to) -> {
-                    if (r.path().equals("/now")) {
-                        to.answer(200, Map.of(), "");
-                    } else {
-                        asked.add(to);
-                    }
-                });
+                this::handle);
     }
 
     @AfterEach
-    void end() throws Exception {
-        for (Socket s : clients) {
-            s.close();
+    void closeAll() throws Exception {
+        for (Socket client : clients) {
+            client.close();
         }
         io.run(() -> {
             server.stopAccepting();
@@ -63,227 +69,263 @@
         });
     }
 
-    private Socket client(String text) throws IOException {
-        Socket s = new Socket(server.address().getAddress(), server.address().getPort());
-        s.setSoTimeout(20_000);
-        clients.add(s);
-        send(s, text);
-        return s;
+    private void handle(HttpServer.Request request, HttpServer.Answerer answerer) {
+        if (request.path().equals("/now")) {
+            answerer.answer(200, Map.of(), "");
+        } else {
+            answerers.add(answerer);
+        }
+    }
+
+    /** A client that connects and sends that text. */
+    private Socket connect(String text) throws IOException {
+        Socket client =
+                new Socket(server.address().getAddress(), server.address().getPort());
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+        clients.add(client);
+        send(client, text);
+        return client;
+    }
+
+    /** A client whose request was answered. */
+    private Socket connectIdle() throws IOException {
+        Socket client = connect(GET);
+        assertStatus(200, readHead(client));
+        return client;
     }
 
-    private static void send(Socket s, String text) throws IOException {
-        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    private static void send(Socket client, String text) throws IOException {
+        client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** The head of the next answer. */
-    private static String answer(Socket s) throws IOException {
-        InputStream in = s.getInputStream();
+    /** The head of the next response. */
+    private static String readHead(Socket client) throws IOException {
+        InputStream in = client.getInputStream();
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
-            int b = in.read();
-            assertTrue(b >= 0, "ended after: " + head);
-            head.append((char) b);
+            int character = in.read();
+            assertTrue(character >= 0, "ended after: " + head);
+            head.append((char) character);
         }
         return head.toString();
     }
 
-    /** All that comes to the end, which is an orderly one: a reset throws. */
-    private static String rest(Socket s) throws IOException {
-        return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    private static void assertStatus(int code, String head) {
+        assertTrue(head.startsWith("HTTP/1.1 " + code), head);
+    }
+
+    private static void assertRefusedForNow(String head) {
+        assertStatus(503, head);
+        assertTrue(head.contains("Retry-After: 1"), head);
+    }
+
+    /** The connection ends in order, which a reset does not, and without a further byte. */
+    private static void assertEnds(Socket client, String message) throws IOException {
+        String rest = new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertEquals("", rest, message);
+    }
+
+    private static void assertEnds(Socket client) throws IOException {
+        assertEnds(client, "nothing follows the last response");
     }
 
-    /** Runs that on the I/O thread, and returns once it and what it put off have run. */
-    private void onIo(Runnable task) throws Exception {
+    private HttpServer.Answerer nextAnswerer() throws InterruptedException {
+        return answerers.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    /** Runs a task on the I/O thread, and returns once it and what it put off have run. */
+    private void runOnIoThread(Runnable task) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         io.run(() -> {
             task.run();
             io.afterReading(() -> done.complete(null));
         });
-        done.get(20, TimeUnit.SECONDS);
+        done.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    private Socket resting() throws IOException {
-        Socket s = client(GET);
-        assertTrue(answer(s).startsWith("HTTP/1.1 200"));
-        return s;
+    /** Returns once the server has read what was sent to it. */
+    private void awaitReading() throws Exception {
+        runOnIoThread(() -> {});
     }
 
-    /** More than one read of Undertow's own close: what a client still sends is read, so that the end of it is no reset. */
+    /** More than one read of Undertow's own close: all that a client still sends is read, so that the end is no reset. */
     @Test
-    void aRestingConnectionEndsInOrderThoughMuchCrosses() throws Exception {
-        Socket s = resting();
-        onIo(server::closeIdleConnections);
-        send(s, GET + "x".repeat(100_000));
-        send(s, GET);
-        assertEquals("", rest(s), "nothing that is read after the end is answered");
-        send(s, GET);
-        s.close();
-        onIo(() -> {});
-        assertEquals(List.of(), List.copyOf(asked));
+    void anIdleConnectionEndsInOrderThoughMuchCrosses() throws Exception {
+        Socket client = connectIdle();
+        runOnIoThread(server::closeIdleConnections);
+        send(client, GET + "x".repeat(100_000));
+        send(client, GET);
+        assertEnds(client, "nothing that is read after the end is answered");
+        send(client, GET);
+        client.close();
+        awaitReading();
+        assertEquals(List.of(), List.copyOf(answerers));
     }
 
     /** The request came before the close: it is served, and its connection stays. */
     @Test
     void aRequestThatLiesUnreadIsServedFirst() throws Exception {
-        Socket s = resting();
+        Socket client = connectIdle();
         CompletableFuture<Void> sent = new CompletableFuture<>();
         CompletableFuture<Void> done = new CompletableFuture<>();
-        io.run(
-                () -> { // the I/O thread is here: it has not read the request when it is told to close
-                    sent.join();
-                    server.closeIdleConnections();
-                    io.afterReading(() -> done.complete(null));
-                });
-        send(s, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+        io.run(() -> {
+            sent.join(); // the I/O thread waits here, and has not read the request when it is told to close
+            server.closeIdleConnections();
+            io.afterReading(() -> done.complete(null));
+        });
+        send(client, GET_ANSWERED_LATER);
         sent.complete(null);
-        done.get(20, TimeUnit.SECONDS);
-        HttpServer.Answerer to = asked.poll(20, TimeUnit.SECONDS);
-        io.run(() -> to.answer(202, Map.of(), ""));
-        assertTrue(answer(s).startsWith("HTTP/1.1 202"));
+        done.get(TIMEOUT_S, TimeUnit.SECONDS);
+        HttpServer.Answerer answerer = nextAnswerer();
+        io.run(() -> answerer.answer(202, Map.of(), ""));
+        assertStatus(202, readHead(client));
     }
 
-    /** Half of a further request's head has come on a kept connection: it does not rest. */
+    /** A part of the next request's head has arrived on a kept connection: it is not idle. */
     @Test
     void aHalfReadHeadIsNotClosedUpon() throws Exception {
-        Socket s = resting();
-        send(s, GET.substring(0, 20));
-        onIo(() -> {}); // read by then
-        onIo(server::closeIdleConnections);
-        onIo(server::closeAllButActive);
-        send(s, GET.substring(20));
-        assertTrue(answer(s).startsWith("HTTP/1.1 200"));
+        Socket client = connectIdle();
+        send(client, PART_OF_HEAD);
+        awaitReading();
+        runOnIoThread(server::closeIdleConnections);
+        runOnIoThread(server::closeAllButActive);
+        send(client, REST_OF_HEAD);
+        assertStatus(200, readHead(client));
     }
 
-    /** The answer before an end gets through whatever the client sends at once behind its request. */
+    /** The last response arrives whatever the client sends at once behind its request. */
     @Test
-    void anAnswerOutlivesAFlood() throws Exception {
-        String flood =
-                "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n" + "x".repeat(150_000);
-        String huge = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(150_000);
-        String surplus = GET + GET + "x".repeat(150_000);
-        String none = "GET /now HTTP/1.1\r\nHost: a\r\n" + "A".repeat(150_000); // Undertow itself refuses it
-        for (String text : List.of(flood, huge, surplus, none, none, none, none)) {
-            Socket s = client(text);
-            assertEquals(
-                    text.equals(huge) ? 413 : 400, Integer.parseInt(answer(s).substring(9, 12)));
-            assertEquals("", rest(s));
-            s.close();
+    void aResponseOutlivesAFlood() throws Exception {
+        String flood = "x".repeat(150_000);
+        String tooLarge = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n" + flood;
+        String pipelined = GET + GET + flood;
+        String unparsable = "GET /now HTTP/1.1\r\nHost: a\r\n" + "A".repeat(150_000); // Undertow itself refuses it
+        List<String> floods =
+                List.of(TWO_LENGTHS + flood, tooLarge, pipelined, unparsable, unparsable, unparsable, unparsable);
+        for (String text : floods) {
+            Socket client = connect(text);
+            int expected = text.equals(tooLarge) ? 413 : 400;
+            assertEquals(expected, Integer.parseInt(readHead(client).substring(9, 12)));
+            assertEnds(client);
+            client.close();
         }
     }
 
-    /** It is not waited for without a bound of bytes: the connection is closed over the rest. */
+    /** A client is not waited for without a bound of bytes: the connection is closed over the rest. */
     @Test
     void anEndlessFloodIsCutOff() throws Exception {
-        Socket s = client("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n");
-        byte[] more = new byte[64 << 10];
-        long sent = 0;
-        try {
-            while (sent < 64 << 20) {
-                s.getOutputStream().write(more);
-                sent += more.length;
-            }
-        } catch (IOException e) {
-            return; // as it should
-        }
-        throw new AssertionError("still read after " + sent + " bytes");
+        Socket client = connect(TWO_LENGTHS);
+        byte[] flood = new byte[64 << 10];
+        assertThrows(
+                IOException.class,
+                () -> {
+                    for (long sent = 0; sent < 64 << 20; sent += flood.length) {
+                        client.getOutputStream().write(flood);
+                    }
+                },
+                "all of it was read");
     }
 
-    /** With the bound reached a resting connection makes room and ends in order; where all are busy, the new one is answered. */
+    /** At the bound an idle connection makes room and ends in order; where all are busy, the new one gets a response. */
     @Test
-    void noNewConnectionEndsWithoutAnAnswer() throws Exception {
-        Socket idle = resting();
+    void noNewConnectionEndsWithoutAResponse() throws Exception {
+        Socket idle = connectIdle();
         List<Socket> busy = new ArrayList<>();
-        List<HttpServer.Answerer> open = new ArrayList<>();
-        for (int i = 0; i < MOST; i++) {
-            busy.add(client("GET /later HTTP/1.1\r\nHost: a\r\n\r\n"));
-            open.add(asked.poll(20, TimeUnit.SECONDS));
+        List<HttpServer.Answerer> pending = new ArrayList<>();
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            busy.add(connect(GET_ANSWERED_LATER));
+            pending.add(nextAnswerer());
         }
-        assertEquals("", rest(idle));
-        for (int i = 0; i < 3 * MOST; i++) {
-            Socket s = client(GET);
-            String answer = answer(s);
-            assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 1"), answer);
-            assertEquals("", rest(s));
+        assertEnds(idle);
+        for (int i = 0; i < 3 * MAX_CONNECTIONS; i++) {
+            Socket beyondBound = connect(GET);
+            assertRefusedForNow(readHead(beyondBound));
+            assertEnds(beyondBound);
         }
-        io.run(() -> open.forEach(to -> to.answer(200, Map.of(), "")));
-        for (Socket s : busy) {
-            assertTrue(answer(s).startsWith("HTTP/1.1 200"));
+        io.run(() -> pending.forEach(answerer -> answerer.answer(200, Map.of(), "")));
+        for (Socket client : busy) {
+            assertStatus(200, readHead(client));
         }
     }
 
-    /** The oldest of those that stand idle has half a head read: another makes room. */
+    /** The connection that was idle for longest has a part of a head: another makes room. */
     @Test
     void aHalfReadHeadDoesNotMakeRoom() throws Exception {
-        Socket half = resting(), idle = resting();
-        resting();
-        send(half, GET.substring(0, 20));
-        onIo(() -> {}); // read by then
-        assertTrue(answer(client(GET)).startsWith("HTTP/1.1 200"));
-        assertEquals("", rest(idle));
-        send(half, GET.substring(20));
-        assertTrue(answer(half).startsWith("HTTP/1.1 200"));
+        Socket halfRead = connectIdle();
+        Socket idle = connectIdle();
+        connectIdle();
+        send(halfRead, PART_OF_HEAD);
+        awaitReading();
+        assertStatus(200, readHead(connect(GET)));
+        assertEnds(idle);
+        send(halfRead, REST_OF_HEAD);
+        assertStatus(200, readHead(halfRead));
     }
 
-    /** With the bound reached by connections that are all too new to be called silent, the oldest is told to come again. */
+    /** At the bound, with connections that are all too new to be silent, the oldest is told to come again. */
     @Test
-    void whoMakesRoomBeforeItsFirstRequestIsAnswered() throws Exception {
+    void whoMakesRoomBeforeItsFirstRequestGetsAResponse() throws Exception {
         List<Socket> fresh = new ArrayList<>();
-        for (int i = 0; i < MOST; i++) {
-            fresh.add(client(""));
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            fresh.add(connect(""));
         }
-        assertTrue(answer(client(GET)).startsWith("HTTP/1.1 200"));
-        send(fresh.get(0), GET);
-        String answer = answer(fresh.get(0));
-        assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: 1"), answer);
-        assertEquals("", rest(fresh.get(0)));
+        assertStatus(200, readHead(connect(GET)));
+        Socket evicted = fresh.get(0);
+        send(evicted, GET);
+        assertRefusedForNow(readHead(evicted));
+        assertEnds(evicted);
     }
 
-    /** At the very end one that has connected and sent nothing yet is told to come again, and one that asks is answered. */
+    /** At the end, who has connected and sent nothing yet is told to come again, and who has asked is answered. */
     @Test
     void aFreshConnectionIsToldToComeAgainAtTheEnd() throws Exception {
-        Socket fresh = client(""), busy = client("GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
-        HttpServer.Answerer to = asked.poll(20, TimeUnit.SECONDS);
-        onIo(() -> server.closeAfterResponse(true));
-        onIo(server::closeAllButActive);
+        Socket fresh = connect("");
+        Socket busy = connect(GET_ANSWERED_LATER);
+        HttpServer.Answerer answerer = nextAnswerer();
+        runOnIoThread(() -> server.closeAfterResponse(true));
+        runOnIoThread(server::closeAllButActive);
         send(fresh, GET);
-        assertTrue(answer(fresh).startsWith("HTTP/1.1 503"));
-        assertEquals("", rest(fresh));
-        io.run(() -> to.answer(202, Map.of(), ""));
-        String last = answer(busy);
-        assertTrue(last.startsWith("HTTP/1.1 202") && last.contains("Connection: close"), last);
-        assertEquals("", rest(busy));
+        assertStatus(503, readHead(fresh));
+        assertEnds(fresh);
+        io.run(() -> answerer.answer(202, Map.of(), ""));
+        String last = readHead(busy);
+        assertStatus(202, last);
+        assertTrue(last.contains("Connection: close"), last);
+        assertEnds(busy);
     }
 
-    /** Small writes are not held back by the system, on either side: a reset would take them along. */
+    /** The kernel does not hold back small writes on either side: a reset would take them along. */
     @Test
     void noSideDelaysSmallWrites() throws Exception {
-        resting();
-        CompletableFuture<List<Boolean>> delayed = new CompletableFuture<>();
-        EndpointConnectionPool connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, 5, 1 << 10);
-        EndpointAddress self = new EndpointAddress(
+        connectIdle();
+        EndpointConnectionPool pool = new EndpointConnectionPool(io, 1_000 * Clock.MS, 5, 1 << 10);
+        EndpointAddress endpoint = new EndpointAddress(
                 "self",
                 server.address().getAddress().getHostAddress() + ":"
                         + server.address().getPort());
-        CompletableFuture<HttpResult> reply = new CompletableFuture<>();
-        io.run(() -> connections.send(
-                self,
-                HttpRequest.get("/now"),
-                io.clock.now() + 9_000 * Clock.MS,
-                io.clock.now() + 9_000 * Clock.MS,
-                reply::complete));
-        assertEquals(200, reply.get(20, TimeUnit.SECONDS).code());
-        onIo(() -> {
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        long deadline = io.clock.now() + 9_000 * Clock.MS;
+        io.run(() -> pool.send(endpoint, HttpRequest.get("/now"), deadline, deadline, result::complete));
+        assertEquals(200, result.get(TIMEOUT_S, TimeUnit.SECONDS).code());
+
+        CompletableFuture<List<Boolean>> noDelay = new CompletableFuture<>();
+        runOnIoThread(() -> {
+            List<StreamConnection> channels = new ArrayList<>(server.clientConnections.byChannel.keySet());
+            channels.add(pool.idle.get(endpoint).peekLast().channel);
             try {
-                List<Boolean> set = new ArrayList<>();
-                for (org.xnio.StreamConnection c : server.clientConnections.byChannel.keySet()) {
-                    set.add(c.getOption(Options.TCP_NODELAY));
-                }
-                set.add(connections.idle.get(self).peekLast().channel.getOption(Options.TCP_NODELAY));
-                delayed.complete(set);
+                noDelay.complete(noDelayOf(channels));
             } catch (IOException e) {
-                delayed.completeExceptionally(e);
+                noDelay.completeExceptionally(e);
             }
         });
-        assertEquals(List.of(true, true, true), delayed.get(20, TimeUnit.SECONDS));
+        assertEquals(List.of(true, true, true), noDelay.get(TIMEOUT_S, TimeUnit.SECONDS));
+    }
+
+    private static List<Boolean> noDelayOf(List<StreamConnection> channels) throws IOException {
+        List<Boolean> values = new ArrayList<>();
+        for (StreamConnection channel : channels) {
+            values.add(channel.getOption(Options.TCP_NODELAY));
+        }
+        return values;
     }
 }
--- a/src/test/java/elderseam/http/InheritedListenerTest.java
+++ b/src/test/java/elderseam/http/InheritedListenerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.Clock;
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -15,64 +16,80 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-/** A listening socket that others hold too: two servers on it, as two processes have, one accepting at a time. */
+/** A listening socket that several processes hold: here two servers on it, of which one accepts at a time. */
 class InheritedListenerTest {
-    private static final String ASK = "GET /who HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final String REQUEST = "GET /who HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final int MAX_BODY_BYTES = 1 << 10;
+    private static final int MAX_CONNECTIONS = 32;
+    private static final int MAX_BODY_BYTES_IN_TRANSIT = 1 << 20;
+    private static final int TIMEOUT_S = 5;
 
-    private static HttpServer server(IoLoop io, ServerSocketChannel socket, String name) throws Exception {
-        CompletableFuture<HttpServer> made = new CompletableFuture<>();
+    private final IoLoop io;
+
+    InheritedListenerTest() throws IOException {
+        io = new IoLoop(new Clock());
+    }
+
+    /** Starts a server on that socket which answers each request with its name. */
+    private HttpServer startServer(ServerSocketChannel socket, String name) throws Exception {
+        CompletableFuture<HttpServer> started = new CompletableFuture<>();
         io.run(() -> {
             try {
-                made.complete(new HttpServer(
+                started.complete(new HttpServer(
                         io,
                         (InetSocketAddress) socket.getLocalAddress(),
                         socket,
-                        1 << 10,
-                        32,
-                        1 << 20,
+                        MAX_BODY_BYTES,
+                        MAX_CONNECTIONS,
+                        MAX_BODY_BYTES_IN_TRANSIT,
                         null,
-                        (r, to) -> to.answer(200, Map.of(), name)));
-            } catch (Exception e) {
-                made.completeExceptionally(e);
+                        (request, answerer) -> answerer.answer(200, Map.of(), name)));
+            } catch (IOException e) {
+                started.completeExceptionally(e);
             }
         });
-        return made.get(5, TimeUnit.SECONDS);
+        return started.get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private void stopAccepting(HttpServer server) throws Exception {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        io.run(() -> {
+            server.stopAccepting();
+            stopped.complete(null);
+        });
+        stopped.get(TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    private static String ask(Socket s) throws Exception {
-        s.setSoTimeout(5_000);
-        s.getOutputStream().write(ASK.getBytes(StandardCharsets.US_ASCII));
-        InputStream in = s.getInputStream();
-        StringBuilder text = new StringBuilder();
-        while (!text.toString().contains("\r\n\r\n")) {
-            text.append((char) in.read());
+    /** The name of the server that answers on that connection. */
+    private static String answeringServer(Socket client) throws IOException {
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+        client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        InputStream response = client.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().contains("\r\n\r\n")) {
+            head.append((char) response.read());
         }
-        int length = Integer.parseInt(text.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
-        return new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+        int length = Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: (\\d+).*", "$1"));
+        return new String(response.readNBytes(length), StandardCharsets.US_ASCII);
     }
 
     @Test
     void connectionsGoToWhoeverAcceptsAndAreKept() throws Exception {
         try (ServerSocketChannel socket =
                 ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
-            IoLoop io = new IoLoop(new Clock());
-            HttpServer older = server(io, socket, "older");
-            InetSocketAddress at = older.address();
-            Socket kept = new Socket(at.getAddress(), at.getPort());
-            assertEquals("older", ask(kept));
-            CompletableFuture<Void> stopped = new CompletableFuture<>();
-            io.run(() -> {
-                older.stopAccepting();
-                stopped.complete(null);
-            });
-            stopped.get(5, TimeUnit.SECONDS);
-            Socket between = new Socket(at.getAddress(), at.getPort()); // waits at the socket, which nobody closes
-            HttpServer newer = server(io, socket, "newer");
-            assertEquals("newer", ask(between));
-            assertEquals("older", ask(kept), "a connection stays where it was accepted, and is kept");
-            assertTrue(newer.openConnections() >= 1);
-            kept.close();
-            between.close();
+            HttpServer older = startServer(socket, "older");
+            InetSocketAddress address = older.address();
+            try (Socket first = new Socket(address.getAddress(), address.getPort())) {
+                assertEquals("older", answeringServer(first));
+                stopAccepting(older);
+                // nobody accepts, but the socket stays open: the connection waits in its backlog
+                try (Socket second = new Socket(address.getAddress(), address.getPort())) {
+                    HttpServer newer = startServer(socket, "newer");
+                    assertEquals("newer", answeringServer(second));
+                    assertEquals("older", answeringServer(first), "a connection stays where it was accepted");
+                    assertTrue(newer.openConnections() >= 1);
+                }
+            }
         }
     }
 }
