--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -141,7 +141,7 @@
             if (secureListener == null) {
                 secureListener = openEventListener(maxClients, context);
             } else {
-                secureListener.renew(context);
+                secureListener.updateCertificate(context);
             }
         } catch (IOException e) {
             LOG.error("cloudevents.listen_failed", error(e));
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -93,7 +93,7 @@
      */
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long calledNs = System.nanoTime();
-        XnioStartup.start();
+        XnioStartup.configure();
         OperatorSettings.Loaded operator = OperatorSettings.load(settingsFile);
         Clock clock = clock(operator.settings());
         long startedNs = clock.now() - (System.nanoTime() - calledNs);
@@ -153,7 +153,7 @@
         EndpointConnectionPool platform =
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
-        io.onAway(dispatcher::eventLoopStalled);
+        io.onStall(dispatcher::eventLoopStalled);
         liveConfiguration = new LiveConfiguration(
                 new LiveConfiguration.RuleTargets(io, dispatcher, journal), config, settings, startup.settingsFile());
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
@@ -265,7 +265,8 @@
     private void takeOver(OwnershipAcquisition.Takeover takeover) throws IOException {
         HandoverChannel channel = takeover.channel();
         HandoverFrame.StateTransfer received = takeover.state();
-        endpointConnections.most(config.limits().upstream() / 2); // descriptors are counted for both processes
+        endpointConnections.setMaxConnections(
+                config.limits().upstream() / 2); // descriptors are counted for both processes
         dispatcher
                 .handover()
                 .takeOver(
@@ -291,7 +292,7 @@
     }
 
     private void onPredecessorGone() {
-        endpointConnections.most(config.limits().upstream());
+        endpointConnections.setMaxConnections(config.limits().upstream());
         dispatcher.handover().predecessorGone();
     }
 
@@ -307,7 +308,7 @@
         LOG.info(
                 "server.ready",
                 field("after_ms", readyAfterMs),
-                field("longest_stall_ms", io.longestAway() / Clock.MS));
+                field("longest_stall_ms", io.longestStallNs() / Clock.MS));
         if (startup.control() != null) {
             transfer.listen(config.state());
         }
