--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -64,12 +64,12 @@
         this.certificateOrder = certificateOrder;
         this.frontend = new EventFrontend(io.clock, dispatcher, config.settings(), events, rules);
         dispatcher.registerFrontend(
-                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::host));
+                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::addressOf));
     }
 
     /** How many of the process's client connections this frontend takes at the most. */
     int maxConnections() {
-        return events.listen().isEmpty() ? 0 : Math.min(MAX_CLIENTS, limits.downstream() / CLIENT_SHARE_DIVISOR);
+        return events.listen().isEmpty() ? 0 : Math.min(MAX_CLIENTS, limits.clientConnections() / CLIENT_SHARE_DIVISOR);
     }
 
     /** Applies these rules, or none (null), from the next event on. */
@@ -96,10 +96,10 @@
     private HttpServer openEventListener(int maxClients, SSLContext context) throws IOException {
         HttpServer listener = new HttpServer(
                 io,
-                PlatformConfiguration.address(events.listen()),
+                PlatformConfiguration.parseAddress(events.listen()),
                 EventFrontend.MOST_BODY,
                 maxClients,
-                limits.reading(),
+                limits.requestBytes(),
                 context,
                 frontend::handle);
         listeners.add(listener);
@@ -119,10 +119,10 @@
         }
         listeners.add(new HttpServer(
                 io,
-                PlatformConfiguration.address(events.challenges()),
+                PlatformConfiguration.parseAddress(events.challenges()),
                 MAX_CHALLENGE_BODY_BYTES,
                 maxClients,
-                limits.reading(),
+                limits.requestBytes(),
                 null,
                 (request, answerer) ->
                         answerChallenge(certificates, request, answerer, io.clock.now() + CHALLENGE_WAIT_NS)));
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -95,10 +95,11 @@
         PlatformConfiguration config = PlatformConfiguration.read(variables);
         ServerSocketChannel inherited = inheritedSocket(variables);
         IoLoop io = new IoLoop(clock);
-        ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
+        ControlServer control = config.controlAddress() == null ? null : new ControlServer(io, config.controlAddress());
         OwnershipAcquisition.Ownership ownership = OwnershipAcquisition.acquire(io, config);
         long diskBytes = config.limits().diskBytes();
-        Journal journal = new Journal(config.state(), diskBytes - PolicySnapshots.reservedBytes(diskBytes), clock);
+        Journal journal =
+                new Journal(config.stateDirectory(), diskBytes - PolicySnapshots.reservedBytes(diskBytes), clock);
         Startup startup = new Startup(config, operator, settingsFile, inherited, control, ownership, startedNs);
         io.run(() -> start(startup, journal, io, variables));
     }
@@ -144,9 +145,10 @@
         ResourceLimits limits = config.limits();
         long idleNs = policySettings.connections().idleNs() * 4 / 5; // before the other side closes it
         EndpointList endpoints = new EndpointList(config.settings());
-        endpointConnections = new EndpointConnectionPool(io, idleNs, limits.upstream(), PlatformFrontend.MOST_BODY);
+        endpointConnections =
+                new EndpointConnectionPool(io, idleNs, limits.endpointConnections(), PlatformFrontend.MAX_BODY_BYTES);
         EndpointConnectionPool platform =
-                new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MAX_PLATFORM_ANSWER_BYTES);
+                new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
         io.onAway(dispatcher::eventLoopStalled);
         liveConfiguration = new LiveConfiguration(
@@ -205,11 +207,11 @@
         ResourceLimits limits = config.limits();
         return new HttpServer(
                 io,
-                config.listen(),
+                config.listenAddress(),
                 startup.inherited(),
-                PlatformFrontend.MOST_BODY,
-                limits.downstream() - reservedConnections,
-                limits.reading(),
+                PlatformFrontend.MAX_BODY_BYTES,
+                limits.clientConnections() - reservedConnections,
+                limits.requestBytes(),
                 null,
                 this::handle);
     }
@@ -245,10 +247,11 @@
         if (persistsLearnedState()) {
             dispatcher.snapshots().restoreAndSave();
         }
-        discovery.known(config.known());
+        discovery.applyCachedList(config.cachedEndpointList());
         String requestClass = config.settings().names("services").get(0);
         dispatcher.recover(
-                frontend::owed, () -> StartupWarmup.run(io, listeners.platformAddress(), requestClass, this::onReady));
+                frontend::unacknowledgedNotifications,
+                () -> StartupWarmup.run(io, listeners.platformAddress(), requestClass, this::onReady));
     }
 
     /**
@@ -258,20 +261,21 @@
     private void takeOver(OwnershipAcquisition.Takeover takeover) throws IOException {
         HandoverChannel channel = takeover.channel();
         HandoverFrame.StateTransfer received = takeover.state();
-        endpointConnections.most(config.limits().upstream() / 2); // descriptors are counted for both processes
+        endpointConnections.most(
+                config.limits().endpointConnections() / 2); // descriptors are counted for both processes
         dispatcher
                 .handover()
                 .takeOver(
                         received.state(),
                         attempt -> channel.send(
                                 new HandoverFrame.AttemptCancellation(attempt.requestId(), attempt.attempt())));
-        discovery.takenOver(JsonValue.read(received.endpointList().getBytes(StandardCharsets.UTF_8)));
+        discovery.applyPredecessorList(JsonValue.read(received.endpointList().getBytes(StandardCharsets.UTF_8)));
         if (received.draining() && lifecycle.beginDrain()) {
             clientDrain.begin();
         }
         channel.send(new HandoverFrame.OwnershipConfirmed());
         channel.startReceiving(this::onHandoverFrame, () -> io.run(this::onPredecessorGone));
-        dispatcher.recover(frontend::owed, this::onReady);
+        dispatcher.recover(frontend::unacknowledgedNotifications, this::onReady);
         if (persistsLearnedState()) {
             dispatcher.snapshots().save();
         }
@@ -284,7 +288,7 @@
     }
 
     private void onPredecessorGone() {
-        endpointConnections.most(config.limits().upstream());
+        endpointConnections.most(config.limits().endpointConnections());
         dispatcher.handover().predecessorGone();
     }
 
@@ -300,7 +304,7 @@
         System.err.println(
                 "ready after " + readyAfterMs + " ms, away for " + io.longestAway() / Clock.MS + " ms at most");
         if (startup.control() != null) {
-            transfer.listen(config.state());
+            transfer.listen(config.stateDirectory());
         }
     }
 
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -70,7 +70,7 @@
     private LeaseService openLeases() throws IOException {
         LeaseService.Tasks tasks =
                 new LeaseService.Tasks(dispatcher, discovery, endpoints, certificateOrder, versionReader);
-        return new LeaseService(io, settings, config.state(), config.seed(), tasks);
+        return new LeaseService(io, settings, config.stateDirectory(), config.seed(), tasks);
     }
 
     private PartitionService openPartition() {
--- a/src/main/java/elderseam/app/GracefulShutdown.java
+++ b/src/main/java/elderseam/app/GracefulShutdown.java
@@ -112,7 +112,7 @@
         if (listeners.unansweredPlatformRequests() > 0) {
             return false;
         }
-        boolean nothingHeld = dispatcher.requestsInFlight() == 0 && frontend.owed() == 0;
+        boolean nothingHeld = dispatcher.requestsInFlight() == 0 && frontend.unacknowledgedNotifications() == 0;
         boolean late = now > settleDeadlineNs - ACCEPT_GRACE_NS;
         return nothingHeld || (late && dispatcher.attemptsInFlight() == 0);
     }
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -216,14 +216,16 @@
         Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
         for (String member : settings.get(SettingKeys.FLEET_MEMBERS)) {
             int separator = member.indexOf('=');
-            peers.put(member.substring(0, separator), PlatformConfiguration.address(member.substring(separator + 1)));
+            peers.put(
+                    member.substring(0, separator),
+                    PlatformConfiguration.parseAddress(member.substring(separator + 1)));
         }
         String incarnation = Long.toString(clock.wallMs(), INCARNATION_RADIX) + "-"
                 + ProcessHandle.current().pid();
         return new LeaseGroupConfiguration(
                 settings.get(SettingKeys.FLEET_GROUP),
                 settings.get(SettingKeys.FLEET_NAME),
-                PlatformConfiguration.address(settings.get(SettingKeys.FLEET_LISTEN)),
+                PlatformConfiguration.parseAddress(settings.get(SettingKeys.FLEET_LISTEN)),
                 peers,
                 groupDirectory,
                 settings.get(SettingKeys.FLEET_ELECTION_MS),
@@ -236,7 +238,7 @@
     /** A fault test's workload: acts on its store while a lease is held. */
     private void startTestWorkload(String holderName) {
         new LeaseWorkload(
-                PlatformConfiguration.address(settings.get(SettingKeys.REHEARSAL_STORE)),
+                PlatformConfiguration.parseAddress(settings.get(SettingKeys.REHEARSAL_STORE)),
                 holderName,
                 settings.get(SettingKeys.FLEET_LEASES),
                 renewer::validity,
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -19,7 +19,7 @@
     static final String LEASE = "discovery";
 
     /** Without news of the holder for this long each member watches for itself. */
-    private static final long STALE_AFTER_NS = 2 * DiscoveryWatcher.longestNs();
+    private static final long STALE_AFTER_NS = 2 * DiscoveryWatcher.maxAnswerIntervalNs();
 
     private final Clock clock;
     private final DiscoveryWatcher discovery;
@@ -43,7 +43,7 @@
         if (lease.isEmpty()) {
             return;
         }
-        String list = discovery.list();
+        String list = discovery.encodedList();
         if (list.length() <= LeaseTable.MAX_VALUE_CHARS) {
             var unused = leases.publish(LEASE, lease.get(), list);
         }
@@ -58,7 +58,7 @@
             return;
         }
         task.onPublished(clock.now());
-        discovery.heard(latestList);
+        discovery.applyPeerList(latestList);
     }
 
     /** Begins or ends this member's own watch. */
@@ -74,8 +74,8 @@
             discovery.resume();
         } else {
             System.err.println("fleet: another watches discovery");
-            discovery.passOn();
-            discovery.heard(latestList);
+            discovery.suspend();
+            discovery.applyPeerList(latestList);
         }
     }
 }
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -91,7 +91,7 @@
     /** Where discovery is by these settings, or else by the platform's configuration. */
     EndpointAddress discoveryAddress(Settings settings) {
         String configured = settings.get(SettingKeys.DISCOVERY_ADDRESS);
-        return new EndpointAddress("discovery", configured.isEmpty() ? latestConfig.discovery() : configured);
+        return new EndpointAddress("discovery", configured.isEmpty() ? latestConfig.discoveryAddress() : configured);
     }
 
     /**
@@ -143,7 +143,7 @@
     private void moveDiscovery(Settings settings) {
         EndpointAddress address = discoveryAddress(settings);
         discovery.move(address);
-        frontend.move(address);
+        frontend.movePlatform(address);
     }
 
     /** Where there are versions, puts their check before the rules: whether this member may act on them. */
@@ -155,7 +155,7 @@
     }
 
     private void useRules(AdmissionRules effective) {
-        frontend.rulings(effective);
+        frontend.setRules(effective);
         if (cloudEvents != null) {
             cloudEvents.rulings(effective);
         }
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -49,7 +49,7 @@
     private OwnershipAcquisition(IoLoop io, PlatformConfiguration config) throws IOException {
         this.io = io;
         this.config = config;
-        this.stateDirectory = config.state();
+        this.stateDirectory = config.stateDirectory();
         this.lock = new OwnershipLock(stateDirectory);
     }
 
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -95,7 +95,7 @@
         List<String> present = members.present().stream().sorted().toList();
         fleetSize.observe(io.clock.now(), present.size());
         int newDivisor = fleetSize.estimate(io.clock.now());
-        Map<Long, List<String>> endpointsByDestination = endpoints.all();
+        Map<Long, List<String>> endpointsByDestination = endpoints.idsByDestination();
         Set<String> endpointIds = new HashSet<>();
         endpointsByDestination.values().forEach(endpointIds::addAll);
         if (newDivisor == divisor && present.equals(memberNames) && endpointIds.equals(knownEndpoints)) {
@@ -130,7 +130,7 @@
                 .map(report -> new TurnTakingTask.PeerReport(report.reporter(), state(report.state())))
                 .toList();
         if (turns.defersProbe(io.clock.now(), own, others)) {
-            dispatcher.defer(endpoints.of(destination), PROBE_DEFERRAL_NS);
+            dispatcher.defer(endpoints.idsOf(destination), PROBE_DEFERRAL_NS);
         }
     }
 
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -50,7 +50,7 @@
                 new RequestDispatcher(config.settings().settings(), config.seed(), journal, io.clock, io, text -> {});
         EndpointList endpoints = new EndpointList(config.settings());
         EndpointConnectionPool connections =
-                new EndpointConnectionPool(io, IDLE_NS, MAX_CONNECTIONS, PlatformFrontend.MOST_BODY);
+                new EndpointConnectionPool(io, IDLE_NS, MAX_CONNECTIONS, PlatformFrontend.MAX_BODY_BYTES);
         PlatformFrontend frontend = new PlatformFrontend(
                 io, connections, new EndpointAddress("none", ""), dispatcher, config.settings(), null, new Lifecycle());
         dispatcher.registerFrontend(
@@ -58,19 +58,20 @@
                 frontend,
                 new PlatformAttemptSender(io, connections, endpoints, config.settings()));
         dispatcher.updateEndpoints(
-                ListUpdateKind.CACHED, endpoints.decode(config.known().get("servers"), true));
+                ListUpdateKind.CACHED,
+                endpoints.update(config.cachedEndpointList().get("servers"), true));
         return frontend;
     }
 
     private static HttpServer server(IoLoop io, PlatformConfiguration config, PlatformFrontend frontend)
             throws IOException {
-        InetSocketAddress anyPort = new InetSocketAddress(config.listen().getAddress(), 0);
+        InetSocketAddress anyPort = new InetSocketAddress(config.listenAddress().getAddress(), 0);
         return new HttpServer(
                 io,
                 anyPort,
-                PlatformFrontend.MOST_BODY,
+                PlatformFrontend.MAX_BODY_BYTES,
                 MAX_CONNECTIONS,
-                config.limits().reading(),
+                config.limits().requestBytes(),
                 null,
                 frontend::handle);
     }
--- a/src/main/java/elderseam/app/TransferableDispatcher.java
+++ b/src/main/java/elderseam/app/TransferableDispatcher.java
@@ -68,12 +68,12 @@
     public HandoverFrame.StateTransfer suspend(Consumer<Handover.ForwardedOutcome> onAttemptEnded) {
         listeners.stopAccepting();
         successor = new SuccessorProxy(io, listeners.platformAddress());
-        discovery.passOn();
-        frontend.passOn(true);
+        discovery.suspend();
+        frontend.suspendNotifications();
         endpointConnections.closeIdle();
         fleet.leave();
         return new HandoverFrame.StateTransfer(
-                discovery.list(), dispatcher.handover().transferTo(onAttemptEnded), lifecycle.isDraining());
+                discovery.encodedList(), dispatcher.handover().transferTo(onAttemptEnded), lifecycle.isDraining());
     }
 
     @Override
@@ -88,9 +88,9 @@
         SuccessorProxy suspended = successor;
         successor = null;
         dispatcher.handover().takeBack(endedAttempts);
-        frontend.passOn(false);
+        frontend.resumeNotifications();
         discovery.resume();
-        suspended.back(frontend::handle);
+        suspended.returnQueued(frontend::handle);
     }
 
     @Override
@@ -99,7 +99,7 @@
         lifecycle.beginEnd();
         listeners.closeAfterAnswer(true);
         listeners.closeCloudEventsConnections();
-        successor.open();
+        successor.startForwarding();
         exitDeadlineNs = io.clock.now() + RETIRE_LIMIT_NS;
         io.at(io.clock.now() + GracefulShutdown.ACCEPT_GRACE_NS, this::exitOnceDone);
     }
@@ -117,7 +117,7 @@
     /** Exits once the newer process has the result of every attempt in flight and no client is connected. */
     private void exitOnceDone() {
         listeners.closeIdleConnections();
-        boolean quiet = dispatcher.attemptsInFlight() == 0 && successor.quiet() && listeners.hasNoConnections();
+        boolean quiet = dispatcher.attemptsInFlight() == 0 && successor.isIdle() && listeners.hasNoConnections();
         boolean overdue = io.clock.now() > exitDeadlineNs;
         if (overdue || (quiet && resultsSent.getAsBoolean())) {
             System.err.println("left");
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -15,151 +15,178 @@
 import java.util.List;
 
 /**
- * Watches the list of upstream hosts. Each answer is followed at once by the next call, so that the watch goes on; one that
- * has fallen silent is opened anew at once, since what it misses counts as told from 6 s after it fell silent; a call that
- * fails otherwise is told as such, and the module says when to ask again.
+ * Watches discovery's endpoint list, by one long-polling call at a time. An answer is followed by the next call at once,
+ * before the list is applied. A call that discovery leaves unanswered is repeated at once as well, on a new connection,
+ * since the list counts as out of date from 6 s after discovery fell silent. Any other failure is reported to the
+ * dispatcher, whose policy decides when to {@link #watch} again. Confined to the I/O thread.
  */
 public final class DiscoveryWatcher {
-    private static final long WAIT_MS = 3_500; // a silent discovery shows after this
-    private static final long ANSWER_NS =
-            1_500 * Clock.MS; // and so much more for the answer: a second is left to ask anew
+    /** How long discovery may wait for a change before it answers, in milliseconds. */
+    private static final long LONG_POLL_MS = 3_500;
+
+    /**
+     * The time to connect, and the time to answer beyond the wait for a change. With {@link #LONG_POLL_MS} it leaves one
+     * of the 6 s to repeat an unanswered call.
+     */
+    private static final long ANSWER_TIMEOUT_NS = 1_500 * Clock.MS;
+
+    private static final String PATH = "/registry/instances";
 
     private final IoLoop io;
     private final EndpointConnectionPool connections;
-    private EndpointAddress address;
-    private final EndpointList hosts;
-    private final RequestDispatcher relay;
-    private long version;
-    private boolean anew; // a new place has not answered yet: its versions are not those of the old one
-    private boolean stopped; // another process watches
-    private EndpointConnectionPool.Request out; // the one call under way, or none
-    private Runnable answered = () -> {};
-
+    private final EndpointList endpoints;
+    private final RequestDispatcher dispatcher;
+    private EndpointAddress discovery;
+    private long version; // of the endpoint list
+    private boolean needsCompleteList; // the version is of another discovery
+    private boolean suspended;
+    private EndpointConnectionPool.Request pendingCall; // null while none is in flight
+    private int latestCallNumber;
+    private Runnable onAnswer = () -> {};
+
+    /**
+     * @param discovery where discovery is
+     * @param endpoints the list that is kept up to date
+     * @param dispatcher is told of each change, and of failures
+     */
     public DiscoveryWatcher(
             IoLoop io,
             EndpointConnectionPool connections,
-            EndpointAddress address,
-            EndpointList hosts,
-            RequestDispatcher relay) {
+            EndpointAddress discovery,
+            EndpointList endpoints,
+            RequestDispatcher dispatcher) {
         this.io = io;
         this.connections = connections;
-        this.address = address;
-        this.hosts = hosts;
-        this.relay = relay;
+        this.discovery = discovery;
+        this.endpoints = endpoints;
+        this.dispatcher = dispatcher;
     }
 
-    /** The list as this dispatcher had it last; it may be old. */
-    public void known(JsonValue list) {
-        version = list.get("version").asLong(0);
-        relay.updateEndpoints(ListUpdateKind.CACHED, hosts.decode(list.get("servers"), true));
+    /** The longest time between two answers of a discovery that answers in time, in nanoseconds. */
+    public static long maxAnswerIntervalNs() {
+        return LONG_POLL_MS * Clock.MS + ANSWER_TIMEOUT_NS;
     }
 
-    /** The list of the process before this one. Its discovery may have been another, so all is asked for once. */
-    public void takenOver(JsonValue list) {
-        anew = true;
-        known(list);
+    /** Sets what runs after each answer of discovery, also one without changes. */
+    public void onAnswer(Runnable onAnswer) {
+        this.onAnswer = onAnswer;
     }
 
-    /** Asks for news, unless a call is out. */
-    public void watch() {
-        if (out == null && !stopped && anew) {
-            ask("", io.clock.now() + ANSWER_NS);
-        } else if (out == null && !stopped) {
-            ask("?after=" + version + "&wait_ms=" + WAIT_MS, io.clock.now() + WAIT_MS * Clock.MS + ANSWER_NS);
-        }
+    /** Applies the list that this dispatcher had last, in discovery's format; it may be out of date. */
+    public void applyCachedList(JsonValue list) {
+        version = list.get("version").asLong(0);
+        dispatcher.updateEndpoints(ListUpdateKind.CACHED, endpoints.update(list.get("servers"), true));
     }
 
-    /** Another process watches from now on. */
-    public void passOn() {
-        stopped = true;
-        drop();
+    /**
+     * Applies the list of the process before this one. Its discovery may have been another, so that the next call asks
+     * for the complete list.
+     */
+    public void applyPredecessorList(JsonValue list) {
+        needsCompleteList = true;
+        applyCachedList(list);
     }
 
-    /** What is out counts for nothing, whatever it might still bring. */
-    private void drop() {
-        EndpointConnectionPool.Request old = out;
-        out = null;
-        if (old != null) {
-            old.abandon();
+    /** Applies the list of another dispatcher, which watches the same discovery, while this one is suspended. */
+    public void applyPeerList(JsonValue list) {
+        long peerVersion = list.get("version").asLong(0);
+        if (suspended && peerVersion != version) {
+            version = peerVersion;
+            dispatcher.updateEndpoints(ListUpdateKind.COMPLETE, endpoints.update(list.get("servers"), true));
         }
-        connections.closeIdle(address);
     }
 
-    /** Run each time discovery has answered, be it that nothing is new; {@link #list} then has what it told. */
-    public void onAnswer(Runnable answered) {
-        this.answered = answered;
+    /** The list as it stands, in discovery's format. */
+    public String encodedList() {
+        return endpoints.encode(version);
     }
 
-    /** The list as another dispatcher has it from the same discovery; it counts only while this one does not watch. */
-    public void heard(JsonValue list) {
-        if (stopped && list.get("version").asLong(0) != version) {
-            version = list.get("version").asLong(0);
-            relay.updateEndpoints(ListUpdateKind.COMPLETE, hosts.decode(list.get("servers"), true));
+    /** Asks discovery for changes, unless a call is in flight or the watch is suspended. */
+    public void watch() {
+        if (pendingCall != null || suspended) {
+            return;
+        }
+        if (needsCompleteList) {
+            call(PATH, io.clock.now() + ANSWER_TIMEOUT_NS);
+        } else {
+            String path = PATH + "?after=" + version + "&wait_ms=" + LONG_POLL_MS;
+            call(path, io.clock.now() + maxAnswerIntervalNs());
         }
     }
 
-    /** How long it is from one answer to the next, at the most, while discovery answers. */
-    public static long longestNs() {
-        return WAIT_MS * Clock.MS + ANSWER_NS;
+    /** Ends the watch: another process watches. */
+    public void suspend() {
+        suspended = true;
+        abandonCall();
     }
 
-    /** It does not, after all. */
+    /** Watches again, after {@link #suspend}. */
     public void resume() {
-        stopped = false;
+        suspended = false;
         watch();
     }
 
-    /** The list as it stands, in discovery's form. */
-    public String list() {
-        return hosts.encoded(version);
-    }
-
-    /** Discovery is elsewhere from now on: what is out at the old address counts for nothing, and the new one, whose
-     *  versions may be others, is asked for all it has. */
+    /**
+     * Watches discovery at this address from now on, beginning with its complete list: its versions may be other than
+     * those before.
+     */
     public void move(EndpointAddress to) {
-        if (to.equals(address)) {
+        if (to.equals(discovery)) {
             return;
         }
-        drop();
-        address = to;
-        anew = true;
+        abandonCall();
+        discovery = to;
+        needsCompleteList = true;
         watch();
     }
 
-    private void ask(String query, long by) {
-        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
-        own[0] = connections.send(
-                address, HttpRequest.get("/registry/instances" + query), io.clock.now() + ANSWER_NS, by, reply -> {
-                    if (out == own[0]) {
-                        out = null;
-                        told(reply);
-                    }
-                });
-        out = own[0];
+    /** Ends the call in flight; its result is ignored. */
+    private void abandonCall() {
+        EndpointConnectionPool.Request abandoned = pendingCall;
+        pendingCall = null;
+        latestCallNumber++;
+        if (abandoned != null) {
+            abandoned.abandon();
+        }
+        connections.closeIdle(discovery);
+    }
+
+    private void call(String path, long answerBy) {
+        int number = ++latestCallNumber;
+        long connectBy = io.clock.now() + ANSWER_TIMEOUT_NS;
+        pendingCall = connections.send(discovery, HttpRequest.get(path), connectBy, answerBy, result -> {
+            if (number == latestCallNumber) {
+                pendingCall = null;
+                onResult(result);
+            }
+        });
     }
 
-    private void told(HttpResult reply) {
-        if (reply.answered() && reply.failure() == null && reply.code() == 200) {
+    private void onResult(HttpResult result) {
+        if (result.answered() && result.failure() == null && result.code() == 200) {
             try {
-                JsonValue list = JsonValue.read(reply.body());
-                version = list.get("version").asLong(version);
-                anew = false;
-                watch();
-                boolean whole = list.get("full").asBoolean();
-                relay.updateEndpoints(
-                        whole ? ListUpdateKind.COMPLETE : ListUpdateKind.CHANGES,
-                        hosts.decode(list.get("servers"), whole));
-                answered.run();
+                onList(JsonValue.read(result.body()));
                 return;
             } catch (IOException e) {
                 System.err.println("discovery: " + e.getMessage());
             }
         }
-        if (reply.failure() == Status.TIMED_OUT && reply.progress() == Progress.WRITTEN) {
-            connections.closeIdle(address); // those may be as silent as this one was
+        if (result.failure() == Status.TIMED_OUT && result.progress() == Progress.WRITTEN) {
+            connections.closeIdle(discovery); // they may be as silent as this one was
             watch();
-            return;
+        } else {
+            dispatcher.updateEndpoints(ListUpdateKind.FAILED, List.of());
         }
-        relay.updateEndpoints(ListUpdateKind.FAILED, List.of());
+    }
+
+    /** Applies an answer of discovery: the complete list, or the entries that changed. */
+    private void onList(JsonValue list) {
+        version = list.get("version").asLong(version);
+        needsCompleteList = false;
+        watch();
+        boolean complete = list.get("full").asBoolean();
+        ListUpdateKind kind = complete ? ListUpdateKind.COMPLETE : ListUpdateKind.CHANGES;
+        dispatcher.updateEndpoints(kind, endpoints.update(list.get("servers"), complete));
+        onAnswer.run();
     }
 }
--- a/src/main/java/elderseam/frontend/platform/EndpointList.java
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -10,102 +10,123 @@
 import java.util.List;
 import java.util.Map;
 
-/** The upstream hosts in discovery's form: decoded here once, and where each is reached from this dispatcher. */
+/** Discovery's endpoint list, read from and written in its JSON format. Confined to the I/O thread. */
 public final class EndpointList {
-    /** One that is listed. */
-    private record Listed(EndpointAddress host, ListedEndpoint entry) {}
+    private static final String READY_STATE = "SERVING";
+    private static final String GONE_STATE = "DELETED";
+    private static final String DRAINING_STATE = "DRAINING";
 
-    private final Map<String, Listed> listed = new HashMap<>();
-    private final List<String> kinds, zones;
+    /** An endpoint, and where this dispatcher reaches it. */
+    private record Entry(EndpointAddress address, ListedEndpoint endpoint) {}
 
+    private final Map<String, Entry> entries = new HashMap<>(); // by the endpoints' ids
+    private final List<String> kinds;
+    private final List<String> zones;
+
+    /** An empty list; its kinds of endpoints and its zones are those of the settings. */
     public EndpointList(SettingsMap settings) {
         this.kinds = settings.list("flavors");
         this.zones = settings.list("localities");
     }
 
-    /** That host; one that is not listed has no address. */
-    public EndpointAddress host(String id) {
-        Listed known = listed.get(id);
-        return known == null ? new EndpointAddress(id, "") : known.host;
+    /** Where an endpoint is reached; the address is empty where it is not listed. */
+    public EndpointAddress addressOf(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? new EndpointAddress(id, "") : entry.address;
     }
 
-    /** The hosts of a destination, by their ids. */
-    public List<String> of(long destination) {
-        return listed.values().stream()
-                .filter(l -> l.entry.destination() == destination)
-                .map(l -> l.host.id())
+    /** The ids of a destination's endpoints. */
+    public List<String> idsOf(long destination) {
+        return entries.values().stream()
+                .filter(entry -> entry.endpoint.destination() == destination)
+                .map(entry -> entry.address.id())
                 .toList();
     }
 
-    /** All that are listed, by destination. */
-    public Map<Long, List<String>> all() {
-        Map<Long, List<String>> all = new HashMap<>();
-        listed.values()
-                .forEach(l -> all.computeIfAbsent(l.entry.destination(), d -> new ArrayList<>())
-                        .add(l.host.id()));
-        return all;
+    /** The ids of all endpoints, by destination. */
+    public Map<Long, List<String>> idsByDestination() {
+        Map<Long, List<String>> ids = new HashMap<>();
+        for (Entry entry : entries.values()) {
+            ids.computeIfAbsent(entry.endpoint.destination(), destination -> new ArrayList<>())
+                    .add(entry.address.id());
+        }
+        return ids;
     }
 
-    /** The entries of a list, by which hosts come and go; {@code whole}: all others go. */
-    public List<ListedEndpoint> decode(JsonValue servers, boolean whole) {
-        if (whole) {
-            listed.clear();
+    /**
+     * Applies a list of discovery.
+     *
+     * @param servers the entries
+     * @param complete whether they are all; else only those that changed
+     * @return the entries, those of removed endpoints too
+     */
+    public List<ListedEndpoint> update(JsonValue servers, boolean complete) {
+        if (complete) {
+            entries.clear();
         }
-        List<ListedEndpoint> entries = new ArrayList<>();
-        for (JsonValue s : servers.items()) {
-            String id = s.get("id").asText("");
-            EndpointStatus listing = switch (s.get("state").asText("")) {
-                case "SERVING" -> EndpointStatus.READY;
-                case "DELETED" -> EndpointStatus.GONE;
-                default -> EndpointStatus.DRAINING;
-            };
-            ListedEndpoint e = new ListedEndpoint(
-                    id,
-                    s.get("cell").asLong(0),
-                    Math.max(0, kinds.indexOf(s.get("kind").asText(""))),
-                    Math.max(0, zones.indexOf(s.get("zone").asText(""))),
-                    listing,
-                    s.get("weight").asDouble(1));
-            entries.add(e);
-            if (listing == EndpointStatus.GONE) {
-                listed.remove(id);
-            } else { // a change that tells no address leaves it as it was
-                listed.put(
-                        id,
-                        new Listed(
-                                s.get("addr").isPresent()
-                                        ? new EndpointAddress(id, s.get("addr").asText(""))
-                                        : host(id),
-                                e));
-            }
+        List<ListedEndpoint> endpoints = new ArrayList<>();
+        for (JsonValue server : servers.items()) {
+            ListedEndpoint endpoint = endpoint(server);
+            endpoints.add(endpoint);
+            apply(endpoint, server.get("addr"));
         }
-        return entries;
+        return endpoints;
     }
 
-    /** The list as it stands, in discovery's form. */
-    String encoded(long version) {
-        StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
-        String between = "";
-        for (Listed l : listed.values()) {
-            ListedEndpoint e = l.entry;
-            text.append(between)
-                    .append("{\"id\":")
-                    .append(JsonValue.quote(e.address()))
-                    .append(",\"addr\":")
-                    .append(JsonValue.quote(l.host.address()))
-                    .append(",\"zone\":")
-                    .append(JsonValue.quote(zones.get(e.zone())))
-                    .append(",\"kind\":")
-                    .append(JsonValue.quote(kinds.get(e.kind())))
-                    .append(",\"cell\":")
-                    .append(e.destination())
-                    .append(",\"state\":\"")
-                    .append(e.status() == EndpointStatus.READY ? "SERVING" : "DRAINING")
-                    .append("\",\"weight\":")
-                    .append(e.weight())
-                    .append(",\"started_ms\":0}");
-            between = ",";
+    private ListedEndpoint endpoint(JsonValue server) {
+        EndpointStatus status = switch (server.get("state").asText("")) {
+            case READY_STATE -> EndpointStatus.READY;
+            case GONE_STATE -> EndpointStatus.GONE;
+            default -> EndpointStatus.DRAINING;
+        };
+        return new ListedEndpoint(
+                server.get("id").asText(""),
+                server.get("cell").asLong(0),
+                Math.max(0, kinds.indexOf(server.get("kind").asText(""))),
+                Math.max(0, zones.indexOf(server.get("zone").asText(""))),
+                status,
+                server.get("weight").asDouble(1));
+    }
+
+    private void apply(ListedEndpoint endpoint, JsonValue address) {
+        String id = endpoint.address();
+        if (endpoint.status() == EndpointStatus.GONE) {
+            entries.remove(id);
+            return;
         }
-        return text.append("]}").toString();
+        // a change without an address leaves the address as it was
+        EndpointAddress reached = address.isPresent() ? new EndpointAddress(id, address.asText("")) : addressOf(id);
+        entries.put(id, new Entry(reached, endpoint));
+    }
+
+    /** The complete list in discovery's format, under this version. */
+    String encode(long version) {
+        StringBuilder json = new StringBuilder("{\"version\":").append(version).append(",\"full\":true,\"servers\":[");
+        String separator = "";
+        for (Entry entry : entries.values()) {
+            json.append(separator);
+            append(entry, json);
+            separator = ",";
+        }
+        return json.append("]}").toString();
+    }
+
+    private void append(Entry entry, StringBuilder json) {
+        ListedEndpoint endpoint = entry.endpoint;
+        json.append("{\"id\":")
+                .append(JsonValue.quote(endpoint.address()))
+                .append(",\"addr\":")
+                .append(JsonValue.quote(entry.address.address()))
+                .append(",\"zone\":")
+                .append(JsonValue.quote(zones.get(endpoint.zone())))
+                .append(",\"kind\":")
+                .append(JsonValue.quote(kinds.get(endpoint.kind())))
+                .append(",\"cell\":")
+                .append(endpoint.destination())
+                .append(",\"state\":\"")
+                .append(endpoint.status() == EndpointStatus.READY ? READY_STATE : DRAINING_STATE)
+                .append("\",\"weight\":")
+                .append(endpoint.weight())
+                .append(",\"started_ms\":0}");
     }
 }
--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -12,137 +12,161 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 
 /**
- * Tells the platform how messages taken on have ended, again and again until it says 204; those whose time is up soonest
- * first. Bounded as the messages held are: each is in here once.
+ * Notifies the platform of final outcomes, in batches, the earliest deadline first. A batch is repeated until the
+ * platform answers 204; one call is in flight at a time. Bounded as the requests in flight are: a request has one
+ * notification at most. Confined to the I/O thread.
  */
 final class NotificationSender {
-    private static final int MOST = 200; // lines in one call
-    private static final long ANSWER_NS = 800 * Clock.MS, AGAIN_NS = 100 * Clock.MS;
+    private static final int MAX_NOTIFICATIONS_PER_CALL = 200;
+    private static final long ANSWER_TIMEOUT_NS = 800 * Clock.MS;
+    private static final long RETRY_INTERVAL_NS = 100 * Clock.MS;
+    private static final int ACKNOWLEDGED_STATUS = 204;
 
-    /** One notice, and when its message's time is up. */
-    private record Line(long due, String id, String text) implements Comparable<Line> {
+    /** One notification: the deadline of its request and its line of a call's body. In the order of deadlines. */
+    private record Notification(long deadline, String requestId, String line) implements Comparable<Notification> {
         @Override
-        public int compareTo(Line o) {
-            return due != o.due ? Long.compare(due, o.due) : id.compareTo(o.id);
+        public int compareTo(Notification other) {
+            return deadline != other.deadline
+                    ? Long.compare(deadline, other.deadline)
+                    : requestId.compareTo(other.requestId);
         }
     }
 
     private final IoLoop io;
     private final EndpointConnectionPool connections;
-    private EndpointAddress address;
-    private final RequestDispatcher relay;
-    private final Map<String, Line> owed = new HashMap<>();
-    private final TreeSet<Line> byDue = new TreeSet<>(); // the same, what is due soonest first
-    private boolean passedOn; // another process tells them
-    private boolean out; // a post is under way, or about to be
-    private EndpointConnectionPool.Request request;
+    private final RequestDispatcher dispatcher;
+    private final Map<String, Notification> byRequestId = new HashMap<>(); // not yet acknowledged
+    private final TreeSet<Notification> byDeadline = new TreeSet<>(); // the same
+    private EndpointAddress platform;
+    private boolean suspended;
+    private boolean sending; // a call is in flight, or scheduled
+    private EndpointConnectionPool.Request latestCall; // null before the first
+    private int latestCallNumber;
 
     NotificationSender(
-            IoLoop io, EndpointConnectionPool connections, EndpointAddress address, RequestDispatcher relay) {
+            IoLoop io, EndpointConnectionPool connections, EndpointAddress platform, RequestDispatcher dispatcher) {
         this.io = io;
         this.connections = connections;
-        this.address = address;
-        this.relay = relay;
+        this.platform = platform;
+        this.dispatcher = dispatcher;
     }
 
-    void add(ActiveRequest.Message m, FinalOutcome answer) {
-        Line line = new Line(m.deadline(), m.id(), line(m.id(), answer));
-        Line before = owed.put(m.id(), line);
-        if (before != null) {
-            byDue.remove(before);
+    /** Adds the notification of a request, to be sent by the next {@link #flush}; replaces an earlier one of its. */
+    void add(ActiveRequest.Message message, FinalOutcome outcome) {
+        Notification added = new Notification(message.deadline(), message.id(), line(message.id(), outcome));
+        Notification replaced = byRequestId.put(message.id(), added);
+        if (replaced != null) {
+            byDeadline.remove(replaced);
         }
-        byDue.add(line);
+        byDeadline.add(added);
     }
 
-    /** What ended in one turn travels together. */
-    void tell() {
-        if (!passedOn && !out && !owed.isEmpty()) {
-            out = true;
-            post();
+    private static String line(String requestId, FinalOutcome outcome) {
+        if (outcome.kind() == FinalOutcome.Kind.REJECTED) {
+            long retryAfterMs = outcome.retryAfterNs() / Clock.MS;
+            return "{\"id\":\"" + requestId + "\",\"status\":\"deferred\",\"again_ms\":" + retryAfterMs + "}\n";
         }
+        return "{\"id\":\"" + requestId + "\",\"status\":\"undeliverable\"}\n";
     }
 
-    /** Notices go elsewhere from now on, those not yet acknowledged at once. */
-    void move(EndpointAddress to) {
-        if (to.equals(address)) {
-            return;
-        }
-        connections.closeIdle(address);
-        address = to;
-        if (out) {
-            post();
+    /** Begins to send what was added; outcomes of one turn go in one call. */
+    void flush() {
+        if (!suspended && !sending && !byRequestId.isEmpty()) {
+            sending = true;
+            send();
         }
     }
 
-    /** Notices not yet acknowledged. */
-    int owed() {
-        return owed.size();
+    /** Begins no further call: another process notifies. */
+    void suspend() {
+        suspended = true;
     }
 
-    private static String line(String id, FinalOutcome answer) {
-        return answer.kind() == FinalOutcome.Kind.REJECTED
-                ? "{\"id\":\"" + id + "\",\"status\":\"deferred\",\"again_ms\":" + answer.retryAfterNs() / Clock.MS
-                        + "}\n"
-                : "{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n";
+    /** Notifies again, after {@link #suspend}. */
+    void resume() {
+        suspended = false;
+        flush();
     }
 
-    /** Whether another process tells them from now on. */
-    void passOn(boolean passedOn) {
-        this.passedOn = passedOn;
-        tell();
+    /** Calls this address from now on, at once with what is not yet acknowledged. */
+    void move(EndpointAddress to) {
+        if (to.equals(platform)) {
+            return;
+        }
+        connections.closeIdle(platform);
+        platform = to;
+        if (sending) {
+            send();
+        }
+    }
+
+    /** How many notifications are not yet acknowledged. */
+    int unacknowledged() {
+        return byRequestId.size();
     }
 
-    private void post() {
-        if (passedOn) {
-            out = false;
+    /** Sends the most urgent notifications, in place of the call before. */
+    private void send() {
+        if (suspended) {
+            sending = false;
             return;
         }
-        EndpointConnectionPool.Request old = request;
-        request = null;
-        if (old != null) {
-            old.abandon();
+        int number = ++latestCallNumber;
+        if (latestCall != null) {
+            latestCall.abandon();
         }
-        List<String> ids = new ArrayList<>();
-        StringBuilder lines = new StringBuilder();
-        byDue.stream().limit(MOST).forEach(line -> {
-            ids.add(line.id);
-            lines.append(line.text);
-        });
-        long by = io.clock.now() + ANSWER_NS;
-        HttpRequest post =
-                new HttpRequest("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
-        EndpointConnectionPool.Request[] own = new EndpointConnectionPool.Request[1];
-        own[0] = connections.send(address, post, by, by, r -> {
-            if (request == own[0]) { // told from a later task, as every answer is
-                told(ids, r);
+        List<String> requestIds = new ArrayList<>();
+        HttpRequest call = nextCall(requestIds);
+        long deadline = io.clock.now() + ANSWER_TIMEOUT_NS;
+        latestCall = connections.send(platform, call, deadline, deadline, result -> {
+            if (number == latestCallNumber) {
+                onResult(requestIds, result);
             }
         });
-        request = own[0];
     }
 
-    private void told(List<String> ids, HttpResult reply) {
-        boolean heard = reply.answered() && reply.code() == 204;
-        if (heard) {
-            ids.forEach(id -> {
-                byDue.remove(owed.remove(id));
-                relay.markNotified(id);
-            });
+    /** The call for the most urgent notifications, whose requests' ids are added to the list. */
+    private HttpRequest nextCall(List<String> requestIds) {
+        StringBuilder lines = new StringBuilder();
+        Iterator<Notification> notifications = byDeadline.iterator();
+        while (notifications.hasNext() && requestIds.size() < MAX_NOTIFICATIONS_PER_CALL) {
+            Notification notification = notifications.next();
+            requestIds.add(notification.requestId);
+            lines.append(notification.line);
         }
-        out = !owed.isEmpty();
-        if (out && heard) {
-            post();
-        } else if (out) {
-            EndpointConnectionPool.Request failed = request;
-            io.at(io.clock.now() + AGAIN_NS, () -> {
-                if (request == failed) { // else a move has posted already
-                    post();
-                }
-            });
+        return new HttpRequest("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void onResult(List<String> requestIds, HttpResult result) {
+        boolean acknowledged = result.answered() && result.code() == ACKNOWLEDGED_STATUS;
+        if (acknowledged) {
+            requestIds.forEach(this::onAcknowledged);
         }
+        sending = !byRequestId.isEmpty();
+        if (sending && acknowledged) {
+            send();
+        } else if (sending) {
+            retryLater();
+        }
+    }
+
+    private void onAcknowledged(String requestId) {
+        byDeadline.remove(byRequestId.remove(requestId));
+        dispatcher.markNotified(requestId);
+    }
+
+    private void retryLater() {
+        int failedCallNumber = latestCallNumber;
+        io.at(io.clock.now() + RETRY_INTERVAL_NS, () -> {
+            if (latestCallNumber == failedCallNumber) { // else a move has sent them already
+                send();
+            }
+        });
     }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -17,84 +17,116 @@
 import java.util.List;
 import java.util.Map;
 
-/** A message as a call to an upstream host, and what its answer means. */
+/** Sends attempts to the platform's endpoints and classifies their responses. Confined to the I/O thread. */
 public final class PlatformAttemptSender implements AttemptSender {
-    private static final double MOST_WAIT_MS = 600_000, MOST_LIMIT = 1e6; // what is more is no sense
+    /** A longer Retry-After counts as this one. */
+    private static final double MAX_RETRY_AFTER_MS = 600_000;
+
+    /** A load report with a higher limit, in requests a second, is ignored. */
+    private static final double MAX_REPORTED_LIMIT_PER_S = 1e6;
+
+    private static final String LOAD_REPORT_HEADER = "X-Pressure";
+    private static final String LOAD_REPORT_PREFIX = "TEXT ";
+
+    /** Positions of the load report's fields in the setting that names them. */
+    private static final int SHARE_LEFT_FIELD = 0;
+
+    private static final int LIMIT_FIELD = 1;
 
     private final IoLoop io;
     private final EndpointConnectionPool connections;
-    private final EndpointList hosts;
-    private final List<String> fields;
+    private final EndpointList endpoints;
+    private final List<String> loadReportFields;
 
+    /**
+     * @param endpoints where the endpoints are
+     * @param settings name the fields of load reports
+     */
     public PlatformAttemptSender(
-            IoLoop io, EndpointConnectionPool connections, EndpointList hosts, SettingsMap settings) {
+            IoLoop io, EndpointConnectionPool connections, EndpointList endpoints, SettingsMap settings) {
         this.io = io;
         this.connections = connections;
-        this.hosts = hosts;
-        this.fields = settings.list("telemetry.fields");
+        this.endpoints = endpoints;
+        this.loadReportFields = settings.list("telemetry.fields");
     }
 
     @Override
     public EndpointCall send(
-            ActiveRequest.Message m, String host, long connectBy, long answerBy, AttemptListener attempt) {
+            ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener) {
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("X-Txn", m.id());
-        if (!m.idempotencyKey().isEmpty()) {
-            headers.put("Idempotency-Key", m.idempotencyKey());
+        headers.put("X-Txn", message.id());
+        if (!message.idempotencyKey().isEmpty()) {
+            headers.put("Idempotency-Key", message.idempotencyKey());
         }
-        headers.put("X-Remaining", Math.max(1, (answerBy - io.clock.now()) / Clock.MS) + "m");
+        long remainingMs = Math.max(1, (answerBy - io.clock.now()) / Clock.MS);
+        headers.put(PlatformRequestDecoder.REMAINING_HEADER, remainingMs + "m");
         return connections.send(
-                hosts.host(host),
-                new HttpRequest("POST", "/receive", headers, m.body()),
+                endpoints.addressOf(endpoint),
+                new HttpRequest("POST", "/receive", headers, message.body()),
                 connectBy,
                 answerBy,
-                attempt::maySend,
-                attempt::written,
-                r -> attempt.answeredLate(meaning(r, fields)),
-                r -> attempt.ended(meaning(r, fields)))::abandon;
+                listener::maySend,
+                listener::written,
+                result -> listener.answeredLate(classify(result, loadReportFields)),
+                result -> listener.ended(classify(result, loadReportFields)))::abandon;
     }
 
     @Override
-    public void closeIdle(String host) {
-        connections.closeIdle(hosts.host(host));
+    public void closeIdle(String endpoint) {
+        connections.closeIdle(endpoints.addressOf(endpoint));
     }
 
-    /** The meaning of an answer. Where it is spoilt, only a first line with 200 counts: it was delivered. */
-    static AttemptOutcome meaning(HttpResult r, List<String> fields) {
-        if (!r.answered()) {
-            return r.code() == 200
+    /**
+     * The outcome of an attempt by its HTTP result. Of a response that broke off only the status 200 counts: the request
+     * was delivered.
+     */
+    static AttemptOutcome classify(HttpResult result, List<String> loadReportFields) {
+        if (!result.answered()) {
+            return result.code() == 200
                     ? new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0)
-                    : AttemptOutcome.unanswered(r.progress(), r.failure());
+                    : AttemptOutcome.unanswered(result.progress(), result.failure());
+        }
+        Status status = status(result);
+        double retryAfterMs = status == Status.FULL ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
+        long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MS);
+        String report = result.header(LOAD_REPORT_HEADER);
+        double shareLeft = reportedNumber(report, loadReportFields, SHARE_LEFT_FIELD);
+        double limitPerS = reportedNumber(report, loadReportFields, LIMIT_FIELD);
+        if (shareLeft > 1 || limitPerS > MAX_REPORTED_LIMIT_PER_S) {
+            return new AttemptOutcome(result.progress(), status, retryAfterNs, 0, 0);
         }
-        Status status = switch (r.code()) {
+        return new AttemptOutcome(result.progress(), status, retryAfterNs, shareLeft, limitPerS);
+    }
+
+    private static Status status(HttpResult result) {
+        return switch (result.code()) {
             case 200 -> Status.DELIVERED;
             case 429 -> Status.FULL;
-            case 503 -> r.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.FULL;
+            case 503 -> result.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.FULL;
             case 504 -> Status.SPENT;
             case 410 -> Status.OVER;
             default -> Status.ERROR;
         };
-        double wait = status == Status.FULL ? Math.min(MOST_WAIT_MS, number(r.header("X-RateLimit-Wait-Ms"))) : 0;
-        double left = value(r.header("X-Pressure"), fields, 0), limit = value(r.header("X-Pressure"), fields, 1);
-        boolean sense = left <= 1 && limit <= MOST_LIMIT;
-        return new AttemptOutcome(r.progress(), status, (long) (wait * Clock.MS), sense ? left : 0, sense ? limit : 0);
     }
 
-    /** A field of a report such as {@code TEXT x0=0.4, x1=25}; 0 where it is not told. */
-    private static double value(String pressure, List<String> fields, int index) {
-        if (pressure.startsWith("TEXT ")
-                && index < fields.size()
-                && !fields.get(index).isEmpty()) {
-            for (String pair : pressure.substring(5).split(",")) {
-                int eq = pair.indexOf('=');
-                if (eq > 0 && pair.substring(0, eq).strip().equals(fields.get(index))) {
-                    return number(pair.substring(eq + 1).strip());
-                }
+    /** A field of a load report such as {@code TEXT x0=0.4, x1=25}; 0 where it is not reported. */
+    private static double reportedNumber(String report, List<String> fields, int index) {
+        if (!report.startsWith(LOAD_REPORT_PREFIX)
+                || index >= fields.size()
+                || fields.get(index).isEmpty()) {
+            return 0;
+        }
+        String field = fields.get(index);
+        for (String pair : report.substring(LOAD_REPORT_PREFIX.length()).split(",")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0 && pair.substring(0, equals).strip().equals(field)) {
+                return number(pair.substring(equals + 1).strip());
             }
         }
         return 0;
     }
 
+    /** A number as a response holds it; 0 where it is malformed, negative or not finite. */
     private static double number(String text) {
         try {
             double value = text.isEmpty() ? 0 : Double.parseDouble(text);
--- a/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
@@ -12,59 +12,99 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-/** What this dispatcher is told by the RELAY variables and the file that one of them names, at its start and again on
- *  SIGHUP; {@code control}, the second address, may be null. Where both name discovery the file counts, since it may have been replaced. */
+/**
+ * What the platform sets: the RELAY variables of the environment and the JSON file that RELAY_CONFIG names. Read at the
+ * start and again on SIGHUP. Immutable.
+ *
+ * @param listenAddress where the platform's clients connect
+ * @param controlAddress where operators connect, or null
+ * @param discoveryAddress where discovery is, as {@code host:port}. The file outranks the variable, since it may have
+ *     been replaced while the process runs
+ * @param stateDirectory holds what outlasts the process
+ * @param seed of the policy's random numbers
+ * @param limits what the process may use
+ * @param settings the deployment's settings, checked
+ * @param cachedEndpointList the endpoint list that is known at the start, in discovery's format; may be absent
+ */
 public record PlatformConfiguration(
-        InetSocketAddress listen,
-        InetSocketAddress control,
-        String discovery,
-        Path state,
+        InetSocketAddress listenAddress,
+        InetSocketAddress controlAddress,
+        String discoveryAddress,
+        Path stateDirectory,
         long seed,
         ResourceLimits limits,
         SettingsMap settings,
-        JsonValue known) {
+        JsonValue cachedEndpointList) {
+    private static final String FILE_VARIABLE = "RELAY_CONFIG";
+    private static final double DEFAULT_DISK_MB = 3;
+    private static final double BYTES_PER_MB = 1_000_000;
+    private static final long DEFAULT_DESCRIPTORS = 1_024;
+    private static final long DEFAULT_MEMORY_MB = 192;
+    private static final int SEED_RADIX = 16;
 
+    /**
+     * Reads and checks the configuration.
+     *
+     * @param variables the environment
+     * @throws IOException if the file can't be read, or its settings can't be used
+     * @throws IllegalArgumentException if a variable is missing or malformed
+     */
     public static PlatformConfiguration read(Map<String, String> variables) throws IOException {
-        JsonValue json = JsonValue.read(Files.readAllBytes(Path.of(told(variables, "RELAY_CONFIG"))));
-        if (!json.isObject()) {
+        JsonValue file = readFile(variables);
+        String discoveryAddress = file.get("discovery").isPresent()
+                ? file.get("discovery").asText("")
+                : required(variables, "RELAY_DISCOVERY");
+        parseAddress(discoveryAddress); // an unusable one is reported now
+        SettingsMap settings = readSettings(file.get("settings"), variables);
+        long seed = Long.parseUnsignedLong(file.get("seed").asText("1"), SEED_RADIX);
+        ResourceLimits limits = readLimits(file.get("limits"));
+        String controlAddress = controlAddress(file, variables);
+        return new PlatformConfiguration(
+                parseAddress(required(variables, "RELAY_LISTEN")),
+                controlAddress.isEmpty() ? null : parseAddress(controlAddress),
+                discoveryAddress,
+                Path.of(required(variables, "RELAY_STATE")),
+                seed,
+                limits,
+                settings,
+                file.get("known"));
+    }
+
+    private static JsonValue readFile(Map<String, String> variables) throws IOException {
+        JsonValue file = JsonValue.read(Files.readAllBytes(Path.of(required(variables, FILE_VARIABLE))));
+        if (!file.isObject()) {
             throw new IOException("the configuration is no JSON object");
         }
-        String discovery = json.get("discovery").isPresent()
-                ? json.get("discovery").asText("")
-                : told(variables, "RELAY_DISCOVERY");
-        address(discovery); // an unusable one is named now
-        Map<String, String> paths = new HashMap<>();
-        flatten("", json.get("settings"), paths);
-        List<String> faults = SettingsValidator.faults(new SettingsMap(paths));
+        return file;
+    }
+
+    private static SettingsMap readSettings(JsonValue settings, Map<String, String> variables) throws IOException {
+        Map<String, String> values = new HashMap<>();
+        flatten("", settings, values);
+        List<String> faults = SettingsValidator.faults(new SettingsMap(values));
         if (!faults.isEmpty()) {
-            throw new IOException(faults.stream()
-                    .map(f -> told(variables, "RELAY_CONFIG") + ": settings." + f)
-                    .collect(Collectors.joining("\n")));
+            String prefix = required(variables, FILE_VARIABLE) + ": settings.";
+            throw new IOException(faults.stream().map(fault -> prefix + fault).collect(Collectors.joining("\n")));
         }
-        paths.put(
-                "discovery",
-                "ask"); // on sockets a list comes to who asks, and whatever is pushed to an agent goes to a watch
-        long seed = Long.parseUnsignedLong(json.get("seed").asText("1"), 16);
-        JsonValue told = json.get("limits");
-        ResourceLimits limits = new ResourceLimits(
-                (long) (told.get("disk_mb").asDouble(3) * 1_000_000),
-                (int) told.get("sockets").asLong(1_024),
-                (int) told.get("memory_mb").asLong(192));
-        String control = variables.getOrDefault(
-                "RELAY_CONTROL", ""); // a second process has its own, and may find the first one's file
-        control = control.isEmpty() ? json.get("control").asText("") : control;
-        return new PlatformConfiguration(
-                address(told(variables, "RELAY_LISTEN")),
-                control.isEmpty() ? null : address(control),
-                discovery,
-                Path.of(told(variables, "RELAY_STATE")),
-                seed,
-                limits,
-                new SettingsMap(paths),
-                json.get("known"));
+        // A list reaches a process of its own only as an answer: where it is said to be pushed, it comes to a watch.
+        values.put("discovery", "ask");
+        return new SettingsMap(values);
+    }
+
+    private static ResourceLimits readLimits(JsonValue limits) {
+        return new ResourceLimits(
+                (long) (limits.get("disk_mb").asDouble(DEFAULT_DISK_MB) * BYTES_PER_MB),
+                (int) limits.get("sockets").asLong(DEFAULT_DESCRIPTORS),
+                (int) limits.get("memory_mb").asLong(DEFAULT_MEMORY_MB));
+    }
+
+    /** The variable outranks the file: a second process has its own, and may find the first one's file. May be empty. */
+    private static String controlAddress(JsonValue file, Map<String, String> variables) {
+        String address = variables.getOrDefault("RELAY_CONTROL", "");
+        return address.isEmpty() ? file.get("control").asText("") : address;
     }
 
-    private static String told(Map<String, String> variables, String name) {
+    private static String required(Map<String, String> variables, String name) {
         String value = variables.get(name);
         if (value == null || value.isEmpty()) {
             throw new IllegalArgumentException(name + " is not set");
@@ -72,7 +112,12 @@
         return value;
     }
 
-    public static InetSocketAddress address(String text) {
+    /**
+     * The address that a text such as {@code 127.0.0.1:8080} stands for. A host's name is resolved.
+     *
+     * @throws IllegalArgumentException if the text is none
+     */
+    public static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1) {
             throw new IllegalArgumentException("'" + text + "' is no address:port");
@@ -80,21 +125,36 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
-    private static void flatten(String path, JsonValue node, Map<String, String> into) {
-        if (node.isObject()) {
-            node.fields().forEach((name, field) -> flatten(path.isEmpty() ? name : path + "." + name, field, into));
-        } else if (node.isList()
-                && (node.items().isEmpty() || !node.items().get(0).isObject())) {
-            StringBuilder list = new StringBuilder();
-            node.items().forEach(n -> list.append(list.isEmpty() ? "" : ",").append(n.asText("")));
-            into.put(path, list.toString());
-        } else if (node.isList()) {
-            into.put(path + ".count", Integer.toString(node.items().size()));
-            for (int i = 0; i < node.items().size(); i++) {
-                flatten(path + "." + i, node.items().get(i), into);
-            }
+    /** Puts a value's scalars under their dotted paths, and a list of scalars as one text, separated by commas. */
+    private static void flatten(String path, JsonValue value, Map<String, String> into) {
+        if (value.isObject()) {
+            value.fields().forEach((name, field) -> flatten(path.isEmpty() ? name : path + "." + name, field, into));
+        } else if (value.isList() && isListOfScalars(value)) {
+            into.put(path, joined(value.items()));
+        } else if (value.isList()) {
+            flattenItems(path, value.items(), into);
         } else {
-            into.put(path, node.asText("null"));
+            into.put(path, value.asText("null"));
+        }
+    }
+
+    /** The texts of scalars, separated by commas. Empty texts before the first other one are left out. */
+    private static String joined(List<JsonValue> scalars) {
+        StringBuilder text = new StringBuilder();
+        for (JsonValue scalar : scalars) {
+            text.append(text.isEmpty() ? "" : ",").append(scalar.asText(""));
+        }
+        return text.toString();
+    }
+
+    private static boolean isListOfScalars(JsonValue list) {
+        return list.items().isEmpty() || !list.items().get(0).isObject();
+    }
+
+    private static void flattenItems(String path, List<JsonValue> items, Map<String, String> into) {
+        into.put(path + ".count", Integer.toString(items.size()));
+        for (int i = 0; i < items.size(); i++) {
+            flatten(path + "." + i, items.get(i), into);
         }
     }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
@@ -2,7 +2,6 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AdmissionRules;
-import elderseam.core.Clock;
 import elderseam.core.FinalOutcome;
 import elderseam.core.Frontend;
 import elderseam.core.Lifecycle;
@@ -11,163 +10,128 @@
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequestAttributes;
-import elderseam.http.HttpServer.Answerer;
-import elderseam.http.HttpServer.Request;
+import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
-/** PROTOCOL's front: a message is answered at once, its end follows as a notice. */
+/**
+ * The frontend for the platform's clients. A request is answered at once: accepted, or with its final outcome where that
+ * is known already. A rejection or failure of an accepted request follows as a notification to the platform; a delivery
+ * needs none. Confined to the I/O thread.
+ */
 public final class PlatformFrontend implements Frontend {
-    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}"),
-            DEST = Pattern.compile("dest=\\d{1,18}"),
-            REMAINING = Pattern.compile("\\d{1,12}[mu]"); // once: each message meets them
+    /** This frontend's number. Journal and handover hold it: never to be changed. */
     public static final byte NUMBER = 0;
-    public static final int MOST_BODY = 64 << 10;
 
-    /** A request that can't be taken on as it is; the code says why. */
-    private record Fault(int code, String words) {}
+    /** The longest body of a request, in bytes. */
+    public static final int MAX_BODY_BYTES = 64 << 10;
 
-    private final Clock clock;
-    private final RequestDispatcher relay;
-    private final NotificationSender notices;
-    private final List<String> classes, tenants;
-    private final Lifecycle life;
-    private AdmissionRules rulings; // null while there are none
+    private static final String READINESS_PATH = "/health/ready";
+    private static final double NS_PER_SECOND = 1e9;
 
-    /** {@code rulings}: the operator's rules, or null. */
+    private final RequestDispatcher dispatcher;
+    private final PlatformRequestDecoder decoder;
+    private final NotificationSender notifications;
+    private final Lifecycle lifecycle;
+    private AdmissionRules rules; // null where there are none
+
+    /**
+     * @param connections for notifications
+     * @param platform where notifications go
+     * @param rules the operator's rules, or null
+     * @param lifecycle answers the readiness check
+     */
     public PlatformFrontend(
             IoLoop io,
             EndpointConnectionPool connections,
             EndpointAddress platform,
-            RequestDispatcher relay,
+            RequestDispatcher dispatcher,
             SettingsMap settings,
-            AdmissionRules rulings,
-            Lifecycle life) {
-        this.life = life;
-        this.clock = io.clock;
-        this.relay = relay;
-        this.rulings = rulings;
-        this.notices = new NotificationSender(io, connections, platform, relay);
-        this.classes = settings.names("services");
-        this.tenants = settings.names("orgs");
+            AdmissionRules rules,
+            Lifecycle lifecycle) {
+        this.dispatcher = dispatcher;
+        this.decoder = new PlatformRequestDecoder(io.clock, settings);
+        this.notifications = new NotificationSender(io, connections, platform, dispatcher);
+        this.rules = rules;
+        this.lifecycle = lifecycle;
     }
 
-    /** From the next message on. */
-    public void rulings(AdmissionRules rulings) {
-        this.rulings = rulings;
+    /** Applies these rules, or none (null), from the next request on. */
+    public void setRules(AdmissionRules rules) {
+        this.rules = rules;
     }
 
-    public void handle(Request r, Answerer to) {
-        if (r.path().equals("/health/ready")) {
-            to.answer(life.isReady() ? 200 : 503, Map.of(), "");
-            return;
-        }
-        Object read = decode(r);
-        if (read instanceof Fault f) {
-            to.answer(f.code, Map.of(), f.words + "\n");
+    /** Answers a client's request or a readiness check, before it returns. */
+    public void handle(HttpServer.Request request, HttpServer.Answerer answerer) {
+        if (request.path().equals(READINESS_PATH)) {
+            answerer.answer(lifecycle.isReady() ? 200 : 503, Map.of(), "");
             return;
         }
-        ActiveRequest.Message message = (ActiveRequest.Message) read;
-        Optional<FinalOutcome> answer = rulings == null
-                ? relay.submit(message)
-                : rulings.rule(message, new HttpRequestAttributes("platform", r, Map.of(), r.body()))
-                        .submitTo(relay);
-        if (answer.isEmpty()) {
-            to.answer(202, Map.of(), "");
+        ActiveRequest.Message message;
+        try {
+            message = decoder.decode(request);
+        } catch (InvalidRequestException e) {
+            answerer.answer(e.status(), Map.of(), e.getMessage() + "\n");
             return;
         }
-        FinalOutcome outcome = answer.get();
-        switch (outcome.kind()) {
-            case DELIVERED, WITHDRAWN -> to.answer(200, Map.of(), "");
-            case REJECTED ->
-                to.answer(
-                        503,
-                        Map.of("Retry-After", String.format(Locale.ROOT, "%.3f", outcome.retryAfterNs() / 1e9)),
-                        "");
-            case FAILED -> to.answer(500, Map.of(), "");
+        Optional<FinalOutcome> outcome = submit(request, message);
+        if (outcome.isEmpty()) {
+            answerer.answer(202, Map.of(), "");
+        } else {
+            answer(outcome.get(), answerer);
         }
     }
 
-    /** The message of a request, or a {@link Fault}. */
-    private Object decode(Request r) {
-        int cls = classes.indexOf(r.path().startsWith("/") ? r.path().substring(1) : r.path());
-        if (cls < 0) {
-            return new Fault(404, "no such class");
-        }
-        if (!r.method().equals("POST")) {
-            return new Fault(405, "only POST");
-        }
-        String lane = r.header("X-Lane");
-        if (!lane.isEmpty() && classes.indexOf(lane) != cls) {
-            return new Fault(400, "X-Lane is not the class of the path");
-        }
-        String id = r.header("X-Txn");
-        if (!ID.matcher(id).matches()) {
-            return new Fault(400, "bad X-Txn");
+    private Optional<FinalOutcome> submit(HttpServer.Request request, ActiveRequest.Message message) {
+        if (rules == null) {
+            return dispatcher.submit(message);
         }
-        long remaining = remaining(r.header("X-Remaining"));
-        if (remaining < 0) {
-            return new Fault(400, "bad X-Remaining");
-        }
-        String dest = r.header("X-Addressing");
-        if (!DEST.matcher(dest).matches()) {
-            return new Fault(400, "bad X-Addressing");
-        }
-        String key = r.header("Idempotency-Key");
-        if (key.length() > 256) {
-            return new Fault(400, "bad Idempotency-Key");
-        }
-        long deadline = clock.now() + remaining;
-        return new ActiveRequest.Message(
-                id,
-                NUMBER,
-                cls,
-                tenants.indexOf(r.header("X-Org")),
-                Long.parseLong(dest.substring(5)),
-                deadline,
-                deadline,
-                !r.header("X-Resent").isEmpty(),
-                true,
-                key,
-                r.body());
+        HttpRequestAttributes attributes = new HttpRequestAttributes("platform", request, Map.of(), request.body());
+        return rules.rule(message, attributes).submitTo(dispatcher);
     }
 
-    /** A time such as {@code 480m} (milliseconds) or {@code 480000u} (microseconds), or -1. */
-    static long remaining(String text) {
-        if (!REMAINING.matcher(text).matches()) {
-            return -1;
+    private static void answer(FinalOutcome outcome, HttpServer.Answerer answerer) {
+        switch (outcome.kind()) {
+            case DELIVERED, WITHDRAWN -> answerer.answer(200, Map.of(), "");
+            case REJECTED -> {
+                String retryAfter = String.format(Locale.ROOT, "%.3f", outcome.retryAfterNs() / NS_PER_SECOND);
+                answerer.answer(503, Map.of("Retry-After", retryAfter), "");
+            }
+            case FAILED -> answerer.answer(500, Map.of(), "");
         }
-        long number = Long.parseLong(text.substring(0, text.length() - 1));
-        return number * (text.endsWith("m") ? Clock.MS : 1_000);
     }
 
     @Override
-    public void completed(ActiveRequest.Message message, FinalOutcome answer) {
-        if (answer.kind() == FinalOutcome.Kind.REJECTED || answer.kind() == FinalOutcome.Kind.FAILED) {
-            notices.add(message, answer);
+    public void completed(ActiveRequest.Message message, FinalOutcome outcome) {
+        if (outcome.kind() == FinalOutcome.Kind.REJECTED || outcome.kind() == FinalOutcome.Kind.FAILED) {
+            notifications.add(message, outcome);
         }
     }
 
     @Override
     public void flushNotifications() {
-        notices.tell();
+        notifications.flush();
+    }
+
+    /** Sends no further notifications: another process does. */
+    public void suspendNotifications() {
+        notifications.suspend();
     }
 
-    /** Whether another process tells the platform from now on. */
-    public void passOn(boolean passedOn) {
-        notices.passOn(passedOn);
+    /** Sends notifications again, after {@link #suspendNotifications}. */
+    public void resumeNotifications() {
+        notifications.resume();
     }
 
-    /** The platform's place for notices is elsewhere from now on. */
-    public void move(EndpointAddress platform) {
-        notices.move(platform);
+    /** Sends notifications to this address from now on. */
+    public void movePlatform(EndpointAddress platform) {
+        notifications.move(platform);
     }
 
-    public int owed() {
-        return notices.owed();
+    /** How many notifications the platform has not acknowledged. */
+    public int unacknowledgedNotifications() {
+        return notifications.unacknowledged();
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/frontend/platform/PlatformRequestDecoder.java
@@ -0,0 +1,104 @@
+package elderseam.frontend.platform;
+
+import elderseam.core.ActiveRequest;
+import elderseam.core.Clock;
+import elderseam.core.SettingsMap;
+import elderseam.http.HttpServer;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Decodes the platform's requests into messages. Confined to the I/O thread. */
+final class PlatformRequestDecoder {
+    /** Header that says how long a client still waits. */
+    static final String REMAINING_HEADER = "X-Remaining";
+
+    /** The result of {@link #parseRemainingNs} for a text that is no time. */
+    static final long MALFORMED_TIME = -1;
+
+    private static final Pattern REQUEST_ID = Pattern.compile("[0-9A-Za-z_.:-]{1,64}");
+    private static final Pattern DESTINATION = Pattern.compile("dest=\\d{1,18}");
+    private static final int DESTINATION_PREFIX_LENGTH = "dest=".length();
+    private static final Pattern REMAINING = Pattern.compile("\\d{1,12}[mu]");
+    private static final long NS_PER_MICROSECOND = 1_000;
+    private static final int MAX_IDEMPOTENCY_KEY_CHARS = 256;
+
+    private final Clock clock;
+    private final List<String> classes;
+    private final List<String> tenants;
+
+    PlatformRequestDecoder(Clock clock, SettingsMap settings) {
+        this.clock = clock;
+        this.classes = settings.names("services");
+        this.tenants = settings.names("orgs");
+    }
+
+    /**
+     * Decodes a request. Its class is its path; a tenant that the settings don't name counts as none.
+     *
+     * @throws InvalidRequestException if the request does not follow the protocol
+     */
+    ActiveRequest.Message decode(HttpServer.Request request) throws InvalidRequestException {
+        int classIndex = classIndex(request);
+        String id = request.header("X-Txn");
+        if (!REQUEST_ID.matcher(id).matches()) {
+            throw new InvalidRequestException(400, "bad X-Txn");
+        }
+        long remainingNs = parseRemainingNs(request.header(REMAINING_HEADER));
+        if (remainingNs == MALFORMED_TIME) {
+            throw new InvalidRequestException(400, "bad X-Remaining");
+        }
+        long destination = destination(request.header("X-Addressing"));
+        String idempotencyKey = request.header("Idempotency-Key");
+        if (idempotencyKey.length() > MAX_IDEMPOTENCY_KEY_CHARS) {
+            throw new InvalidRequestException(400, "bad Idempotency-Key");
+        }
+        long deadline = clock.now() + remainingNs;
+        return new ActiveRequest.Message(
+                id,
+                PlatformFrontend.NUMBER,
+                classIndex,
+                tenants.indexOf(request.header("X-Org")),
+                destination,
+                deadline,
+                deadline,
+                !request.header("X-Resent").isEmpty(),
+                true,
+                idempotencyKey,
+                request.body());
+    }
+
+    private int classIndex(HttpServer.Request request) throws InvalidRequestException {
+        String path = request.path();
+        int classIndex = classes.indexOf(path.startsWith("/") ? path.substring(1) : path);
+        if (classIndex < 0) {
+            throw new InvalidRequestException(404, "no such class");
+        }
+        if (!request.method().equals("POST")) {
+            throw new InvalidRequestException(405, "only POST");
+        }
+        String repeatedClass = request.header("X-Lane");
+        if (!repeatedClass.isEmpty() && classes.indexOf(repeatedClass) != classIndex) {
+            throw new InvalidRequestException(400, "X-Lane is not the class of the path");
+        }
+        return classIndex;
+    }
+
+    private static long destination(String addressing) throws InvalidRequestException {
+        if (!DESTINATION.matcher(addressing).matches()) {
+            throw new InvalidRequestException(400, "bad X-Addressing");
+        }
+        return Long.parseLong(addressing.substring(DESTINATION_PREFIX_LENGTH));
+    }
+
+    /**
+     * The nanoseconds of a time such as {@code 480m} (milliseconds) or {@code 480000u} (microseconds), or {@link
+     * #MALFORMED_TIME}.
+     */
+    static long parseRemainingNs(String text) {
+        if (!REMAINING.matcher(text).matches()) {
+            return MALFORMED_TIME;
+        }
+        long number = Long.parseLong(text.substring(0, text.length() - 1));
+        return number * (text.endsWith("m") ? Clock.MS : NS_PER_MICROSECOND);
+    }
+}
--- a/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -8,7 +8,9 @@
 import elderseam.http.HttpResult;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
+import io.undertow.util.HttpString;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -17,98 +19,123 @@
 import java.util.Set;
 
 /**
- * What clients still send to a process that has passed its work on: each request waits until the next process listens, and goes
- * there; its answer comes back. Bounded as the connections of clients are, which carry one request each.
+ * Forwards the requests that still reach an older process during an upgrade to the newer one, and its answers back.
+ * Requests are queued until the newer process listens. Bounded as client connections are, which carry one request each.
+ * Confined to the I/O thread.
  */
 public final class SuccessorProxy {
-    private static final long ANSWER_NS = 2_000 * Clock.MS; // a client waits 0.4 s
-    private static final int MOST = 32; // under way at once; descriptors are counted for both processes
-    private static final Set<String> OWN =
+    /** Longer than the 0.4 s for which a client waits. */
+    private static final long ANSWER_TIMEOUT_NS = 2_000 * Clock.MS;
+
+    /** How many requests are forwarded at once: descriptors are limited for both processes together. */
+    private static final int MAX_IN_FLIGHT = 32;
+
+    private static final int MAX_ANSWER_BODY_BYTES = 1 << 10;
+    private static final String RETRY_AFTER_S = "0.100";
+    private static final long NS_PER_MICROSECOND = 1_000;
+
+    /** Headers of the connection rather than of the request, in lower case. */
+    private static final Set<String> CONNECTION_HEADERS =
             Set.of("host", "connection", "content-length", "transfer-encoding", "expect");
 
-    private record Waiting(HttpServer.Request request, HttpServer.Answerer to, long since) {}
+    private record QueuedRequest(HttpServer.Request request, HttpServer.Answerer answerer, long receivedAt) {}
 
     private final IoLoop io;
     private final EndpointConnectionPool connections;
-    private final EndpointAddress next;
-    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-    private boolean open;
-    private int out;
+    private final EndpointAddress successor;
+    private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
+    private boolean successorListens;
+    private int inFlight;
 
-    public SuccessorProxy(IoLoop io, InetSocketAddress listener) {
+    /**
+     * @param successor where the newer process will listen
+     */
+    public SuccessorProxy(IoLoop io, InetSocketAddress successor) {
         this.io = io;
-        this.connections = new EndpointConnectionPool(io, ANSWER_NS, MOST, 1 << 10);
-        this.next = new EndpointAddress("next", listener.getAddress().getHostAddress() + ":" + listener.getPort());
+        this.connections = new EndpointConnectionPool(io, ANSWER_TIMEOUT_NS, MAX_IN_FLIGHT, MAX_ANSWER_BODY_BYTES);
+        this.successor =
+                new EndpointAddress("next", successor.getAddress().getHostAddress() + ":" + successor.getPort());
     }
 
-    public void handle(HttpServer.Request request, HttpServer.Answerer to) {
-        Waiting w = new Waiting(request, to, io.clock.now());
-        waiting.add(w);
-        passAll();
+    /** Forwards a client's request, now or once the newer process listens. */
+    public void handle(HttpServer.Request request, HttpServer.Answerer answerer) {
+        queue.add(new QueuedRequest(request, answerer, io.clock.now()));
+        forwardQueued();
     }
 
-    /** The next process listens. */
-    public void open() {
-        open = true;
-        passAll();
+    /** The newer process listens: forwards what is queued. */
+    public void startForwarding() {
+        successorListens = true;
+        forwardQueued();
     }
 
-    private void passAll() {
-        while (open && out < MOST && !waiting.isEmpty()) {
-            pass(waiting.poll());
-        }
+    /** The newer process will never listen: gives what is queued to this process's own handler. */
+    public void returnQueued(HttpServer.Handler handler) {
+        List<QueuedRequest> queued = List.copyOf(queue);
+        queue.clear();
+        queued.forEach(request -> handler.handle(withTimeLeft(request), request.answerer));
     }
 
-    /** It never will: they are this process's own again. */
-    public void back(HttpServer.Handler handler) {
-        List<Waiting> all = List.copyOf(waiting);
-        waiting.clear();
-        all.forEach(w -> handler.handle(aged(w), w.to));
+    /** Whether no request is queued or in flight. */
+    public boolean isIdle() {
+        return inFlight == 0 && queue.isEmpty();
     }
 
-    /** Whether nothing is under way. */
-    public boolean quiet() {
-        return out == 0 && waiting.isEmpty();
+    private void forwardQueued() {
+        while (successorListens && inFlight < MAX_IN_FLIGHT && !queue.isEmpty()) {
+            forward(queue.poll());
+        }
     }
 
-    private void pass(Waiting w) {
-        HttpServer.Request r = aged(w);
+    private void forward(QueuedRequest queued) {
+        HttpServer.Request request = withTimeLeft(queued);
+        HttpRequest forwarded =
+                new HttpRequest(request.method(), request.path(), endToEndHeaders(request), request.body());
+        inFlight++;
+        long deadline = io.clock.now() + ANSWER_TIMEOUT_NS;
+        connections.send(successor, forwarded, deadline, deadline, result -> {
+            inFlight--;
+            answer(result, queued.answerer);
+            forwardQueued();
+        });
+    }
+
+    /** The first value of each header that is not of the connection. */
+    private static Map<String, String> endToEndHeaders(HttpServer.Request request) {
         Map<String, String> headers = new HashMap<>();
-        r.headers().forEach(h -> {
-            if (!OWN.contains(h.getHeaderName().toString().toLowerCase(Locale.ROOT))) {
-                headers.put(h.getHeaderName().toString(), h.getFirst());
+        request.headers().forEach(header -> {
+            String name = header.getHeaderName().toString();
+            if (!CONNECTION_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                headers.put(name, header.getFirst());
             }
         });
-        out++;
-        long by = io.clock.now() + ANSWER_NS;
-        connections.send(next, new HttpRequest(r.method(), r.path(), headers, r.body()), by, by, reply -> {
-            out--;
-            answer(reply, w.to);
-            passAll();
-        });
+        return headers;
     }
 
-    /** What may have been taken on there is not refused here: its client, told nothing, asks again under a new id. */
-    private static void answer(HttpResult reply, HttpServer.Answerer to) {
-        if (reply.answered()) {
-            String again = reply.header("Retry-After");
-            to.answer(
-                    reply.code(),
-                    again.isEmpty() ? Map.of() : Map.of("Retry-After", again),
-                    new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
-        } else if (reply.progress() == Progress.NOT_CONNECTED || reply.progress() == Progress.PARTLY_WRITTEN) {
-            to.answer(503, Map.of("Retry-After", "0.100"), "");
+    /**
+     * Answers a client. A request that the newer process may have accepted gets no answer and is not rejected: its client
+     * comes back under a new id.
+     */
+    private static void answer(HttpResult result, HttpServer.Answerer answerer) {
+        if (result.answered()) {
+            String retryAfter = result.header("Retry-After");
+            Map<String, String> headers = retryAfter.isEmpty() ? Map.of() : Map.of("Retry-After", retryAfter);
+            answerer.answer(result.code(), headers, new String(result.body(), StandardCharsets.UTF_8));
+        } else if (result.progress() == Progress.NOT_CONNECTED || result.progress() == Progress.PARTLY_WRITTEN) {
+            answerer.answer(503, Map.of("Retry-After", RETRY_AFTER_S), "");
         }
     }
 
-    /** Its time goes on while it waits here. */
-    private HttpServer.Request aged(Waiting w) {
-        long left = PlatformFrontend.remaining(w.request.header("X-Remaining")), waited = io.clock.now() - w.since;
-        if (left > 0 && waited > Clock.MS) {
-            w.request
-                    .headers()
-                    .put(new io.undertow.util.HttpString("X-Remaining"), Math.max(0, left - waited) / 1_000 + "u");
+    /** The request, with the time it was queued taken off the time that its client still waits. */
+    private HttpServer.Request withTimeLeft(QueuedRequest queued) {
+        HttpServer.Request request = queued.request;
+        long remainingNs =
+                PlatformRequestDecoder.parseRemainingNs(request.header(PlatformRequestDecoder.REMAINING_HEADER));
+        long queuedNs = io.clock.now() - queued.receivedAt;
+        if (remainingNs > 0 && queuedNs > Clock.MS) {
+            String timeLeft = Math.max(0, remainingNs - queuedNs) / NS_PER_MICROSECOND + "u";
+            request.headers().put(new HttpString(PlatformRequestDecoder.REMAINING_HEADER), timeLeft);
         }
-        return w.request;
+        return request;
     }
 }
--- a/src/test/java/elderseam/compat/CoreProcess.java
+++ b/src/test/java/elderseam/compat/CoreProcess.java
@@ -101,7 +101,7 @@
     }
 
     void list(String list) throws IOException {
-        discovery.known(JsonValue.read(list.getBytes(StandardCharsets.UTF_8)));
+        discovery.applyCachedList(JsonValue.read(list.getBytes(StandardCharsets.UTF_8)));
     }
 
     Optional<FinalOutcome> take(String id, int cls, int tenant, long destination, String same) {
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -191,8 +191,8 @@
         Handover handover = newer.relay.handover();
         handover.takeOver(
                 given.state(), o -> channel.send(new HandoverFrame.AttemptCancellation(o.requestId(), o.attempt())));
-        newer.discovery.takenOver(JsonValue.read(given.endpointList().getBytes(StandardCharsets.UTF_8)));
-        assertEquals(given.endpointList(), newer.discovery.list());
+        newer.discovery.applyPredecessorList(JsonValue.read(given.endpointList().getBytes(StandardCharsets.UTF_8)));
+        assertEquals(given.endpointList(), newer.discovery.encodedList());
         List<String> breakers = new ArrayList<>();
         newer.relay.forEachBreaker(
                 (destination, b) -> breakers.add(destination + " " + b.state() + (b.waitNs() > 0 ? " waits" : "")));
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -80,7 +80,7 @@
         List<HandoverFrame> sent = new ArrayList<>();
         Handover.State estate =
                 process.relay.handover().transferTo(p -> sent.add(new HandoverFrame.AttemptCompletion(p)));
-        sent.add(new HandoverFrame.StateTransfer(process.discovery.list(), estate, true));
+        sent.add(new HandoverFrame.StateTransfer(process.discovery.encodedList(), estate, true));
         process.ends("lead", CoreProcess.DELIVERED);
         process.relay.handover().cancelAttempt("late", 0);
         process.attempts.get("late").answeredLate(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.5, 20));
--- a/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -1,6 +1,7 @@
 package elderseam.frontend.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.AttemptOutcome;
@@ -10,54 +11,84 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** What an answer of an upstream host means. */
+/** How {@link PlatformAttemptSender} classifies the responses of endpoints. */
 class ResponseClassificationTest {
-    private static AttemptOutcome end(int code, String header, String value) {
-        return PlatformAttemptSender.meaning(
-                new HttpResult(Progress.ANSWERED, null, code, Map.of(header, value), new byte[0]), List.of("x0", "x1"));
+    private static final List<String> LOAD_REPORT_FIELDS = List.of("x0", "x1");
+
+    private static AttemptOutcome classify(int code, Map<String, String> headers) {
+        HttpResult response = new HttpResult(Progress.ANSWERED, null, code, headers, new byte[0]);
+        return PlatformAttemptSender.classify(response, LOAD_REPORT_FIELDS);
+    }
+
+    private static AttemptOutcome classify(int code) {
+        return classify(code, Map.of());
+    }
+
+    @Test
+    void theCodeSaysTheStatus() {
+        assertEquals(Status.DELIVERED, classify(200).status());
+        assertEquals(Status.FULL, classify(429).status());
+        assertEquals(Status.FULL, classify(503, Map.of("X-Over-Slots", "0")).status());
+        assertEquals(Status.NO_SLOT, classify(503, Map.of("X-Over-Slots", "1")).status());
+        assertEquals(Status.SPENT, classify(504).status());
+        assertEquals(Status.OVER, classify(410).status());
+        assertEquals(Status.ERROR, classify(500).status());
     }
 
     @Test
-    void codesAndWaits() {
-        assertEquals(Status.DELIVERED, end(200, "X", "").status());
-        assertEquals(350_000_000L, end(429, "X-RateLimit-Wait-Ms", "350").waitNs());
-        assertEquals(0, end(200, "X-RateLimit-Wait-Ms", "350").waitNs());
-        assertEquals(Status.FULL, end(503, "X-Over-Slots", "0").status());
-        assertEquals(Status.NO_SLOT, end(503, "X-Over-Slots", "1").status());
-        assertEquals(Status.SPENT, end(504, "X", "").status());
-        assertEquals(Status.OVER, end(410, "X", "").status());
+    void onlyAnErrorMayHaveRun() {
+        assertTrue(classify(500).mayHaveRun());
+        assertFalse(classify(503).mayHaveRun());
+        assertFalse(classify(410).mayHaveRun());
+    }
+
+    @Test
+    void onlyAnOverloadedEndpointSetsARetryAfter() {
+        Map<String, String> wait = Map.of("X-RateLimit-Wait-Ms", "350");
+        assertEquals(350_000_000L, classify(429, wait).waitNs());
+        assertEquals(0, classify(200, wait).waitNs());
+    }
+
+    @Test
+    void anEndlessRetryAfterDoesNotOverflow() {
+        assertTrue(classify(429, Map.of("X-RateLimit-Wait-Ms", "1e300")).waitNs() > 0);
+    }
+
+    @Test
+    void ofABrokenResponseOnlyDeliveredCounts() {
+        HttpResult delivered = new HttpResult(Progress.WRITTEN, Status.BROKEN, 200, Map.of(), new byte[0]);
+        HttpResult overloaded = new HttpResult(Progress.WRITTEN, Status.BROKEN, 429, Map.of(), new byte[0]);
+        assertEquals(
+                new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0, 0),
+                PlatformAttemptSender.classify(delivered, LOAD_REPORT_FIELDS));
         assertEquals(
-                List.of(true, false, false),
-                List.of(
-                        end(500, "X", "").mayHaveRun(),
-                        end(503, "X", "").mayHaveRun(),
-                        end(410, "X", "").mayHaveRun()));
+                AttemptOutcome.unanswered(Progress.WRITTEN, Status.BROKEN),
+                PlatformAttemptSender.classify(overloaded, LOAD_REPORT_FIELDS));
     }
 
-    /** A report is read by its fields' names; nonsense in it counts as untold. */
     @Test
-    void reports() {
-        AttemptOutcome told = end(200, "X-Pressure", "TEXT x0=0.4, x1=25");
-        assertEquals(List.of(0.4, 25.0), List.of(told.shareLeft(), told.limitPerS()));
-        for (String nonsense : List.of(
+    void aLoadReportIsReadByTheNamesOfItsFields() {
+        AttemptOutcome outcome = classify(200, Map.of("X-Pressure", "TEXT x0=0.4, x1=25"));
+        assertEquals(0.4, outcome.shareLeft());
+        assertEquals(25.0, outcome.limitPerS());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
                 "TEXT x1=many, x0",
                 "BIN x0=0.4, x1=25",
                 "TEXT x0=0.4, x1=1e300",
                 "TEXT x0=NaN, x1=-3",
                 "TEXT x0=7, x1=25",
-                "\u0000\u00ff=,=,")) {
-            AttemptOutcome odd = end(200, "X-Pressure", nonsense);
-            assertEquals(List.of(0.0, 0.0), List.of(odd.shareLeft(), odd.limitPerS()), nonsense);
-        }
-        assertTrue(end(429, "X-RateLimit-Wait-Ms", "1e300").waitNs() > 0, "an endless wait must not run over");
-    }
-
-    @Test
-    void remainingTimes() {
-        assertEquals(480_000_000L, PlatformFrontend.remaining("480m"));
-        assertEquals(480_000L, PlatformFrontend.remaining("480u"));
-        assertEquals(-1, PlatformFrontend.remaining("480"));
-        assertEquals(-1, PlatformFrontend.remaining("-4m"));
+                "\u0000\u00ff=,=,"
+            })
+    void aMalformedLoadReportIsIgnored(String report) {
+        AttemptOutcome outcome = classify(200, Map.of("X-Pressure", report));
+        assertEquals(0.0, outcome.shareLeft());
+        assertEquals(0.0, outcome.limitPerS());
     }
 }
