--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -70,17 +70,19 @@
         this.certificateOrder = certificateOrder;
         this.frontend = new EventFrontend(io.clock, dispatcher, config.settings(), events, rules);
         dispatcher.registerFrontend(
-                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::host));
+                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::addressOf));
     }
 
     /** How many of the process's client connections this frontend takes at the most. */
     int maxConnections() {
-        return events.listen().isEmpty() ? 0 : Math.min(MAX_CLIENTS, limits.downstream() / CLIENT_SHARE_DIVISOR);
+        return events.listenAddress().isEmpty()
+                ? 0
+                : Math.min(MAX_CLIENTS, limits.clientConnections() / CLIENT_SHARE_DIVISOR);
     }
 
     /** Applies these rules, or none (null), from the next event on. */
     void rulings(AdmissionRules rules) {
-        frontend.rulings(rules);
+        frontend.setRules(rules);
     }
 
     /**
@@ -89,10 +91,10 @@
      * @throws IOException if an address can't be used
      */
     void openListeners() throws IOException {
-        if (events.listen().isEmpty()) {
+        if (events.listenAddress().isEmpty()) {
             return;
         }
-        if (events.directory().isEmpty()) {
+        if (events.acmeDirectory().isEmpty()) {
             openEventListener(maxConnections(), null);
         } else {
             openWithCertificate(maxConnections() / 2);
@@ -102,10 +104,10 @@
     private HttpServer openEventListener(int maxClients, SSLContext context) throws IOException {
         HttpServer listener = new HttpServer(
                 io,
-                PlatformConfiguration.address(events.listen()),
-                EventFrontend.MOST_BODY,
+                PlatformConfiguration.parseAddress(events.listenAddress()),
+                EventFrontend.MAX_BODY_BYTES,
                 maxClients,
-                limits.reading(),
+                limits.requestBytes(),
                 context,
                 frontend::handle);
         listeners.add(listener);
@@ -115,9 +117,9 @@
 
     private void openWithCertificate(int maxClients) throws IOException {
         CertificateManager certificates = new CertificateManager(
-                events.directory(),
-                events.names(),
-                events.folder(),
+                events.acmeDirectory(),
+                events.certificateNames(),
+                events.certificateFolder(),
                 context -> io.run(() -> useCertificate(maxClients, context)),
                 certificateOrder);
         if (certificateOrder != null) {
@@ -125,10 +127,10 @@
         }
         listeners.add(new HttpServer(
                 io,
-                PlatformConfiguration.address(events.challenges()),
+                PlatformConfiguration.parseAddress(events.challengeAddress()),
                 MAX_CHALLENGE_BODY_BYTES,
                 maxClients,
-                limits.reading(),
+                limits.requestBytes(),
                 null,
                 (request, answerer) ->
                         answerChallenge(certificates, request, answerer, io.clock.now() + CHALLENGE_WAIT_NS)));
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -100,10 +100,11 @@
         PlatformConfiguration config = PlatformConfiguration.read(variables);
         ServerSocketChannel inherited = inheritedSocket(variables);
         IoLoop io = new IoLoop(clock);
-        ControlServer control = config.control() == null ? null : new ControlServer(io, config.control());
+        ControlServer control = config.controlAddress() == null ? null : new ControlServer(io, config.controlAddress());
         OwnershipAcquisition.Ownership ownership = OwnershipAcquisition.acquire(io, config);
         long diskBytes = config.limits().diskBytes();
-        Journal journal = new Journal(config.state(), diskBytes - PolicySnapshots.reservedBytes(diskBytes), clock);
+        Journal journal =
+                new Journal(config.stateDirectory(), diskBytes - PolicySnapshots.reservedBytes(diskBytes), clock);
         Startup startup = new Startup(config, operator, settingsFile, inherited, control, ownership, startedNs);
         io.run(() -> start(startup, journal, io, variables));
     }
@@ -149,9 +150,10 @@
         ResourceLimits limits = config.limits();
         long idleNs = policySettings.connections().idleNs() * 4 / 5; // before the other side closes it
         EndpointList endpoints = new EndpointList(config.settings());
-        endpointConnections = new EndpointConnectionPool(io, idleNs, limits.upstream(), PlatformFrontend.MOST_BODY);
+        endpointConnections =
+                new EndpointConnectionPool(io, idleNs, limits.endpointConnections(), PlatformFrontend.MAX_BODY_BYTES);
         EndpointConnectionPool platform =
-                new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM, MAX_PLATFORM_ANSWER_BYTES);
+                new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
         io.onStall(dispatcher::eventLoopStalled);
         liveConfiguration = new LiveConfiguration(
@@ -187,7 +189,7 @@
     private CloudEventsSetup openListeners(
             Journal journal, EndpointList endpoints, LeasedCertificateOrder certificateOrder) throws IOException {
         EventConfiguration events = startup.operator().cloudEvents();
-        if (events.listen().isEmpty() && !journal.hasWorkFor(EventFrontend.NUMBER)) {
+        if (events.listenAddress().isEmpty() && !journal.hasWorkFor(EventFrontend.NUMBER)) {
             listeners.add(platformListener(0));
             return null;
         }
@@ -210,11 +212,11 @@
         ResourceLimits limits = config.limits();
         return new HttpServer(
                 io,
-                config.listen(),
+                config.listenAddress(),
                 startup.inherited(),
-                PlatformFrontend.MOST_BODY,
-                limits.downstream() - reservedConnections,
-                limits.reading(),
+                PlatformFrontend.MAX_BODY_BYTES,
+                limits.clientConnections() - reservedConnections,
+                limits.requestBytes(),
                 null,
                 this::handle);
     }
@@ -252,10 +254,11 @@
         if (persistsLearnedState()) {
             dispatcher.snapshots().restoreAndSave();
         }
-        discovery.known(config.known());
+        discovery.applyCachedList(config.cachedEndpointList());
         String requestClass = config.settings().names("services").get(0);
         dispatcher.recover(
-                frontend::owed, () -> StartupWarmup.run(io, listeners.platformAddress(), requestClass, this::onReady));
+                frontend::unacknowledgedNotifications,
+                () -> StartupWarmup.run(io, listeners.platformAddress(), requestClass, this::onReady));
     }
 
     /**
@@ -266,20 +269,20 @@
         HandoverChannel channel = takeover.channel();
         HandoverFrame.StateTransfer received = takeover.state();
         endpointConnections.setMaxConnections(
-                config.limits().upstream() / 2); // descriptors are counted for both processes
+                config.limits().endpointConnections() / 2); // descriptors are counted for both processes
         dispatcher
                 .handover()
                 .takeOver(
                         received.state(),
                         attempt -> channel.send(
                                 new HandoverFrame.AttemptCancellation(attempt.requestId(), attempt.attempt())));
-        discovery.takenOver(JsonValue.read(received.endpointList().getBytes(StandardCharsets.UTF_8)));
+        discovery.applyPredecessorList(JsonValue.read(received.endpointList().getBytes(StandardCharsets.UTF_8)));
         if (received.draining() && lifecycle.beginDrain()) {
             clientDrain.begin();
         }
         channel.send(new HandoverFrame.OwnershipConfirmed());
         channel.startReceiving(this::onHandoverFrame, () -> io.run(this::onPredecessorGone));
-        dispatcher.recover(frontend::owed, this::onReady);
+        dispatcher.recover(frontend::unacknowledgedNotifications, this::onReady);
         if (persistsLearnedState()) {
             dispatcher.snapshots().save();
         }
@@ -292,7 +295,7 @@
     }
 
     private void onPredecessorGone() {
-        endpointConnections.setMaxConnections(config.limits().upstream());
+        endpointConnections.setMaxConnections(config.limits().endpointConnections());
         dispatcher.handover().predecessorGone();
     }
 
@@ -310,7 +313,7 @@
                 field("after_ms", readyAfterMs),
                 field("longest_stall_ms", io.longestStallNs() / Clock.MS));
         if (startup.control() != null) {
-            transfer.listen(config.state());
+            transfer.listen(config.stateDirectory());
         }
     }
 
--- a/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
+++ b/src/main/java/elderseam/app/LeasedDiscoveryWatch.java
@@ -24,7 +24,7 @@
     static final String LEASE = "discovery";
 
     /** Without news of the holder for this long each member watches for itself. */
-    private static final long STALE_AFTER_NS = 2 * DiscoveryWatcher.longestNs();
+    private static final long STALE_AFTER_NS = 2 * DiscoveryWatcher.maxAnswerIntervalNs();
 
     private final Clock clock;
     private final DiscoveryWatcher discovery;
@@ -48,7 +48,7 @@
         if (lease.isEmpty()) {
             return;
         }
-        String list = discovery.list();
+        String list = discovery.encodedList();
         if (list.length() <= LeaseTable.MAX_VALUE_CHARS) {
             var unused = leases.publish(LEASE, lease.get(), list);
         }
@@ -63,7 +63,7 @@
             return;
         }
         task.onPublished(clock.now());
-        discovery.heard(latestList);
+        discovery.applyPeerList(latestList);
     }
 
     /** Begins or ends this member's own watch. */
@@ -79,8 +79,8 @@
             discovery.resume();
         } else {
             LOG.info("discovery.watch_delegated");
-            discovery.passOn();
-            discovery.heard(latestList);
+            discovery.suspend();
+            discovery.applyPeerList(latestList);
         }
     }
 }
--- a/src/main/java/elderseam/app/OperatorSettings.java
+++ b/src/main/java/elderseam/app/OperatorSettings.java
@@ -28,7 +28,7 @@
     static Loaded load(Path file) throws IOException {
         if (isLegacy(file)) {
             LOG.warn("configuration.legacy_file", field("file", file), field("replaced_by", SettingKeys.FILE));
-            return new Loaded(EventConfiguration.old(file), Settings.none());
+            return new Loaded(EventConfiguration.ofPropertiesFile(file), Settings.none());
         }
         Settings settings = settings(file);
         return new Loaded(EventConfiguration.of(settings), settings);
