--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -41,7 +41,7 @@
                 listener::maySend,
                 listener::written,
                 result -> listener.answeredLate(classify(result)),
-                result -> listener.ended(classify(result)))::abandon;
+                result -> listener.ended(classify(result)))::cancel;
     }
 
     @Override
@@ -63,7 +63,7 @@
         }
         if (result.code() == 429 || result.code() == 503) {
             long retryAfterNs = retryAfterNs(result.header("Retry-After"));
-            return new AttemptOutcome(result.progress(), Status.FULL, retryAfterNs, 0, 0);
+            return new AttemptOutcome(result.progress(), Status.OVERLOADED, retryAfterNs, 0, 0);
         }
         return new AttemptOutcome(result.progress(), Status.ERROR, 0, 0, 0);
     }
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -152,7 +152,7 @@
         pendingCall = null;
         latestCallNumber++;
         if (abandoned != null) {
-            abandoned.abandon();
+            abandoned.cancel();
         }
         connections.closeIdle(discovery);
     }
--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -6,6 +6,7 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.EndpointExchange;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
@@ -46,7 +47,7 @@
     private EndpointAddress platform;
     private boolean suspended;
     private boolean sending; // a call is in flight, or scheduled
-    private EndpointConnectionPool.Request latestCall; // null before the first
+    private EndpointExchange latestCall; // null before the first
     private int latestCallNumber;
 
     NotificationSender(
@@ -119,7 +120,7 @@
         }
         int number = ++latestCallNumber;
         if (latestCall != null) {
-            latestCall.abandon();
+            latestCall.cancel();
         }
         List<String> requestIds = new ArrayList<>();
         HttpRequest call = nextCall(requestIds);
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -68,7 +68,7 @@
                 listener::maySend,
                 listener::written,
                 result -> listener.answeredLate(classify(result, loadReportFields)),
-                result -> listener.ended(classify(result, loadReportFields)))::abandon;
+                result -> listener.ended(classify(result, loadReportFields)))::cancel;
     }
 
     @Override
@@ -87,7 +87,7 @@
                     : AttemptOutcome.unanswered(result.progress(), result.failure());
         }
         Status status = status(result);
-        double retryAfterMs = status == Status.FULL ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
+        double retryAfterMs = status == Status.OVERLOADED ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
         long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MS);
         String report = result.header(LOAD_REPORT_HEADER);
         double shareLeft = reportedNumber(report, loadReportFields, SHARE_LEFT_FIELD);
@@ -101,10 +101,10 @@
     private static Status status(HttpResult result) {
         return switch (result.code()) {
             case 200 -> Status.DELIVERED;
-            case 429 -> Status.FULL;
-            case 503 -> result.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.FULL;
-            case 504 -> Status.SPENT;
-            case 410 -> Status.OVER;
+            case 429 -> Status.OVERLOADED;
+            case 503 -> result.header("X-Over-Slots").equals("1") ? Status.NO_SLOT : Status.OVERLOADED;
+            case 504 -> Status.EXPIRED;
+            case 410 -> Status.WITHDRAWN;
             default -> Status.ERROR;
         };
     }
--- a/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -30,11 +30,12 @@
     @Test
     void theCodeSaysTheStatus() {
         assertEquals(Status.DELIVERED, classify(200).status());
-        assertEquals(Status.FULL, classify(429).status());
-        assertEquals(Status.FULL, classify(503, Map.of("X-Over-Slots", "0")).status());
+        assertEquals(Status.OVERLOADED, classify(429).status());
+        assertEquals(
+                Status.OVERLOADED, classify(503, Map.of("X-Over-Slots", "0")).status());
         assertEquals(Status.NO_SLOT, classify(503, Map.of("X-Over-Slots", "1")).status());
-        assertEquals(Status.SPENT, classify(504).status());
-        assertEquals(Status.OVER, classify(410).status());
+        assertEquals(Status.EXPIRED, classify(504).status());
+        assertEquals(Status.WITHDRAWN, classify(410).status());
         assertEquals(Status.ERROR, classify(500).status());
     }
 
