--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -4,11 +4,11 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.selftest.FaultTestHistory;
 import elderseam.fleet.selftest.GossipOnlyLease;
-import elderseam.gossip.GossipAgent;
+import elderseam.gossip.Advice;
 import elderseam.gossip.GossipTimings;
 import elderseam.gossip.HealthReport;
-import elderseam.gossip.MemberState;
 import elderseam.gossip.MembershipUpdate;
+import elderseam.gossip.OwnBreaker;
 import elderseam.gossip.security.Roster;
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
@@ -52,10 +52,10 @@
         this.dispatcher = dispatcher;
         this.configuration = GossipConfiguration.read(settings);
         this.appliesAdvice = appliesAdvice(settings);
-        GossipTransport.Ties callbacks =
-                new GossipTransport.Ties(this::ownReports, this::advise, text -> System.err.println("gossip: " + text));
-        this.transport =
-                new GossipTransport(io, configuration.place(), configuration.keys(), GossipTimings.USUAL, callbacks);
+        GossipTransport.Callbacks callbacks = new GossipTransport.Callbacks(
+                this::ownReports, this::advise, text -> System.err.println("gossip: " + text));
+        this.transport = new GossipTransport(
+                io, configuration.transport(), configuration.keyring(), GossipTimings.DEFAULTS, callbacks);
         if (!settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
             updateTestLease(testLease(settings));
         }
@@ -66,7 +66,7 @@
         String name = self();
         String incarnation = Long.toString(io.clock.wallMs(), INCARNATION_RADIX);
         boolean needsMajority = settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("majority");
-        int memberCount = configuration.keys().roster().all().size();
+        int memberCount = configuration.keyring().roster().all().size();
         FaultTestHistory history = new FaultTestHistory(Path.of(settings.get(SettingKeys.REHEARSAL_HISTORY)), name);
         return new GossipOnlyLease(name, incarnation, needsMajority, memberCount, history);
     }
@@ -82,26 +82,26 @@
         return settings.get(SettingKeys.GOSSIP_WEIGH).equals("on");
     }
 
-    private List<GossipAgent.Own> ownReports() {
-        List<GossipAgent.Own> reports = new ArrayList<>();
+    private List<OwnBreaker> ownReports() {
+        List<OwnBreaker> reports = new ArrayList<>();
         dispatcher.forEachBreaker((destination, breaker) -> reports.add(ownReport(destination, breaker)));
         return reports;
     }
 
-    private static GossipAgent.Own ownReport(long destination, BreakerView breaker) {
+    private static OwnBreaker ownReport(long destination, BreakerView breaker) {
         long waitMs = Math.max(0, Math.min(Integer.MAX_VALUE, breaker.waitNs() / Clock.MS));
-        return new GossipAgent.Own(
+        return new OwnBreaker(
                 destination, REPORTED_STATES.get(breaker.state()), (int) waitMs, breaker.calls(), breaker.failures());
     }
 
     /** What is not applied is taken back: advice of before must not stay. */
-    private void advise(long destination, GossipAgent.Word advice) {
-        dispatcher.advise(destination, appliesAdvice ? advice.doubt() : 0, appliesAdvice ? advice.trying() : 0);
+    private void advise(long destination, Advice advice) {
+        dispatcher.advise(destination, appliesAdvice ? advice.suspicion() : 0, appliesAdvice ? advice.probers() : 0);
     }
 
     @Override
     public String self() {
-        return configuration.place().name();
+        return configuration.transport().name();
     }
 
     @Override
@@ -113,19 +113,14 @@
 
     private List<String> others() {
         return transport.members().stream()
-                .filter(member ->
-                        isPresent(member.standing()) && !member.member().equals(self()))
+                .filter(member -> member.state().isPresent() && !member.member().equals(self()))
                 .map(MembershipUpdate::member)
                 .toList();
     }
 
-    private static boolean isPresent(MemberState state) {
-        return state == MemberState.ALIVE || state == MemberState.SUSPECT;
-    }
-
     @Override
     public List<HealthReport> reports(long destination) {
-        return transport.claims(destination);
+        return transport.currentReports(destination);
     }
 
     /**
@@ -138,11 +133,11 @@
         if (fresh.get(SettingKeys.GOSSIP_LISTEN).equals("off")) {
             return () -> {};
         }
-        Roster roster = GossipConfiguration.roster(fresh, self(), configuration.key());
+        Roster roster = GossipConfiguration.readRoster(fresh, self(), configuration.key());
         return () -> {
             appliesAdvice = appliesAdvice(fresh);
-            transport.ceiling(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
-            transport.roster(roster);
+            transport.setSendLimits(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
+            transport.setRoster(roster);
             System.err.println("gossip: " + transport.counts());
         };
     }
--- a/src/main/java/elderseam/cli/GossipCommand.java
+++ b/src/main/java/elderseam/cli/GossipCommand.java
@@ -180,12 +180,12 @@
                 try {
                     GossipTransport post = new GossipTransport(
                             io,
-                            opening.place(),
-                            opening.keys(),
-                            GossipTimings.USUAL,
-                            new GossipTransport.Ties(List::of, (destination, word) -> {}, err::println));
+                            opening.transport(),
+                            opening.keyring(),
+                            GossipTimings.DEFAULTS,
+                            new GossipTransport.Callbacks(List::of, (destination, word) -> {}, err::println));
                     io.at(clock.now() + seconds * 1_000L * Clock.MS, () -> {
-                        seen.complete(new Seen(post.members(), post.claims(), post.counts()));
+                        seen.complete(new Seen(post.members(), post.allReports(), post.counts()));
                         post.leave();
                     });
                 } catch (IOException | RuntimeException e) {
@@ -227,9 +227,9 @@
                         if (json) {
                             out.printf(
                                     "{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n",
-                                    m.member(), m.address(), word(m.standing()), m.incarnation());
+                                    m.member(), m.address(), word(m.state()), m.incarnation());
                         } else {
-                            out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.standing()));
+                            out.printf("%-20s %-24s %s%n", m.member(), m.address(), word(m.state()));
                         }
                     });
             seen.claims.stream()
@@ -243,7 +243,7 @@
                                     word(c.state()),
                                     c.calls(),
                                     c.failures(),
-                                    c.waitMs());
+                                    c.retryAfterMs());
                         } else {
                             out.printf(
                                     "%-20s destination %-12d %-10s %d of %d calls failed%n",
--- a/src/main/java/elderseam/cli/KeysCommand.java
+++ b/src/main/java/elderseam/cli/KeysCommand.java
@@ -1,7 +1,8 @@
 package elderseam.cli;
 
 import elderseam.acme.SecretSealer;
-import elderseam.gossip.PacketCodec;
+import elderseam.gossip.MemberNames;
+import elderseam.gossip.security.AddressRanges;
 import elderseam.gossip.security.KeyFile;
 import elderseam.gossip.security.Roster;
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -49,17 +51,17 @@
 
         @Override
         public Integer call() throws IOException {
-            if (!PacketCodec.isName(name)) {
+            if (!MemberNames.isValid(name)) {
                 throw new ParameterException(
                         spec.commandLine(), "--name: '" + name + "' is no name, allowed: 1 to 64 of A-Z a-z 0-9 . _ -");
             }
-            String fault = Roster.rangesFault(ranges);
-            if (fault != null) {
-                throw new ParameterException(spec.commandLine(), "--from: " + fault);
+            Optional<String> fault = AddressRanges.findFault(ranges);
+            if (fault.isPresent()) {
+                throw new ParameterException(spec.commandLine(), "--from: " + fault.get());
             }
             try {
-                KeyFile key = KeyFile.make(file);
-                spec.commandLine().getOut().println(name + " " + ranges + " " + key.text());
+                KeyFile key = KeyFile.create(file);
+                spec.commandLine().getOut().println(name + " " + ranges + " " + key.publicKeyText());
                 return 0;
             } catch (FileAlreadyExistsException e) {
                 throw new IOException(file + ": there already, a key is not written over");
@@ -113,9 +115,9 @@
                 if (json) {
                     out.printf(
                             "{\"name\":\"%s\",\"from\":\"%s\",\"keys\":[\"%s\"]}%n",
-                            e.name(), ranges, String.join("\",\"", e.texts()));
+                            e.name(), ranges, String.join("\",\"", e.keyTexts()));
                 } else {
-                    out.printf("%-20s %-30s %s%n", e.name(), ranges, String.join(" ", e.texts()));
+                    out.printf("%-20s %-30s %s%n", e.name(), ranges, String.join(" ", e.keyTexts()));
                 }
             }
             return 0;
--- a/src/main/java/elderseam/gossip/ClockOffsetEstimator.java
+++ b/src/main/java/elderseam/gossip/ClockOffsetEstimator.java
@@ -4,32 +4,38 @@
 import java.util.Map;
 
 /**
- * How far each member's wall clock is off from this one's, from what its datagrams say of it: a datagram is underway for a
- * while, so the largest difference of late is the nearest. It slackens by a thousandth of the time that passes, so that a
- * clock that was set back is followed within minutes. A member that lies of its clock makes its own claims older or younger,
- * nobody else's.
+ * Estimates how far each member's wall clock is ahead of this one's, from the time stamps of its packets. A packet takes a
+ * while to arrive, so the largest difference seen is the nearest to the truth. The estimate decays by a thousandth of the time
+ * that passes, so that a clock that was set back is followed within minutes. A member that lies about its clock changes only
+ * the age of its own reports.
  */
 final class ClockOffsetEstimator {
-    private static final double SLACK = 1e-3;
+    private static final double DECAY = 1e-3;
+    private static final double NS_PER_MS = 1e6;
 
-    private record Off(double ms, long at) {}
+    private record Offset(double aheadMs, long observedAtNs) {}
 
-    private final Map<String, Off> off = new HashMap<>();
+    private final Map<String, Offset> offsets = new HashMap<>();
 
-    /** A datagram of that member says so much of its clock, which this one's shows as that. */
-    void hear(String member, long theirMs, long hereMs, long now) {
-        double seen = (double) theirMs - hereMs;
-        Off o = off.get(member);
-        off.put(member, new Off(o == null ? seen : Math.max(seen, o.ms - (now - o.at) / 1e6 * SLACK), now));
+    /** A packet of the member was stamped {@code theirWallMs}, and arrived at {@code ownWallMs}. */
+    void observe(String member, long theirWallMs, long ownWallMs, long nowNs) {
+        double observedMs = (double) theirWallMs - ownWallMs;
+        Offset last = offsets.get(member);
+        double aheadMs = last == null ? observedMs : Math.max(observedMs, decayed(last, nowNs));
+        offsets.put(member, new Offset(aheadMs, nowNs));
     }
 
-    /** How old is what that member stamped so, in milliseconds of this clock; 0 where its clock is not known. */
-    long ageMs(String member, long stampedMs, long hereMs) {
-        Off o = off.get(member);
-        return o == null ? 0 : Math.max(0, (long) (hereMs - (stampedMs - o.ms)));
+    private static double decayed(Offset offset, long nowNs) {
+        return offset.aheadMs - (nowNs - offset.observedAtNs) / NS_PER_MS * DECAY;
+    }
+
+    /** Returns how long ago, in milliseconds, the member stamped something so; 0 if its clock is unknown. */
+    long ageMs(String member, long stampedMs, long ownWallMs) {
+        Offset offset = offsets.get(member);
+        return offset == null ? 0 : Math.max(0, (long) (ownWallMs - (stampedMs - offset.aheadMs)));
     }
 
     void remove(String member) {
-        off.remove(member);
+        offsets.remove(member);
     }
 }
--- a/src/main/java/elderseam/gossip/GossipTimings.java
+++ b/src/main/java/elderseam/gossip/GossipTimings.java
@@ -1,105 +1,109 @@
 package elderseam.gossip;
 
 /**
- * The times of the protocol. All are in nanoseconds.
+ * The parameters of the protocol, most of them times in nanoseconds.
  *
- * @param periodNs between two probes (the protocol period of SWIM)
- * @param ackNs for an answer to a direct probe, before others are asked; under the period
- * @param indirect how many others are asked
- * @param suspicion how many periods, times the logarithm of the fleet, the shortest suspicion lasts
- * @param suspicionMost how many times that the longest lasts, while nobody confirms it (Lifeguard)
- * @param retransmit a rumour is sent along so often, times the logarithm of the fleet
- * @param mostHealth the most that bad local health slows this member's probes by (Lifeguard's S)
- * @param newsNs between two rounds of rumours for their own sake, while there are any: probes alone carry them too slowly
- *     where members probe slowly
- * @param fan to how many members a round of rumours goes
- * @param syncNs between two full exchanges of state
- * @param forgetNs how long one that is dead or has left is remembered
- * @param localHealth whether Lifeguard's parts are on
+ * @param probeIntervalNs between two probes (SWIM's protocol period)
+ * @param probeTimeoutNs how long a direct probe may take before other members are asked to probe; below the interval
+ * @param indirectProbes how many other members are asked (SWIM's k)
+ * @param suspicionMultiplier probe intervals that the shortest suspicion lasts, times the logarithm of the fleet's size
+ *     (Lifeguard's alpha)
+ * @param maxSuspicionFactor how many times as long a suspicion lasts that nobody confirms (Lifeguard's beta)
+ * @param retransmitMultiplier how often an update is sent, times the logarithm of the fleet's size (SWIM's lambda)
+ * @param maxLocalHealth limit of the local health score, and so of how far probes are slowed (Lifeguard's S)
+ * @param gossipIntervalNs between two rounds of messages that only carry gossip: probes alone carry it too slowly if members
+ *     probe slowly
+ * @param gossipFanout to how many members a round of gossip goes
+ * @param stateExchangeIntervalNs between two full state exchanges in a small fleet
+ * @param forgetAfterNs how long a member that is dead or has left is remembered
+ * @param lifeguard whether Lifeguard's local health and variable suspicion times are used
  */
 public record GossipTimings(
-        long periodNs,
-        long ackNs,
-        int indirect,
-        int suspicion,
-        int suspicionMost,
-        int retransmit,
-        int mostHealth,
-        long newsNs,
-        int fan,
-        long syncNs,
-        long forgetNs,
-        boolean localHealth) {
-    private static final long MS = 1_000_000;
+        long probeIntervalNs,
+        long probeTimeoutNs,
+        int indirectProbes,
+        int suspicionMultiplier,
+        int maxSuspicionFactor,
+        int retransmitMultiplier,
+        int maxLocalHealth,
+        long gossipIntervalNs,
+        int gossipFanout,
+        long stateExchangeIntervalNs,
+        long forgetAfterNs,
+        boolean lifeguard) {
+    private static final long NS_PER_MS = 1_000_000;
 
-    /** The practice of memberlist on a local network: a period of 1 s, 500 ms for an answer, 3 others, rumours to 3
-     *  each 200 ms. */
-    public static final GossipTimings USUAL =
-            new GossipTimings(1_000 * MS, 500 * MS, 3, 4, 6, 4, 8, 200 * MS, 3, 30_000 * MS, 120_000 * MS, true);
+    /** The defaults of HashiCorp's memberlist for a local network, with rounds of gossip every 200 ms. */
+    public static final GossipTimings DEFAULTS = new GossipTimings(
+            1_000 * NS_PER_MS,
+            500 * NS_PER_MS,
+            3,
+            4,
+            6,
+            4,
+            8,
+            200 * NS_PER_MS,
+            3,
+            30_000 * NS_PER_MS,
+            120_000 * NS_PER_MS,
+            true);
 
+    /** @throws IllegalArgumentException if a value is out of its range */
     public GossipTimings {
-        if (periodNs <= 0
-                || ackNs <= 0
-                || ackNs >= periodNs
-                || indirect < 0
-                || suspicion < 1
-                || suspicionMost < 1
-                || retransmit < 1
-                || mostHealth < 0
-                || newsNs <= 0
-                || fan < 0
-                || syncNs <= 0
-                || forgetNs <= 0) {
-            throw new IllegalArgumentException("times that make no sense: " + this);
+        boolean probesValid =
+                probeIntervalNs > 0 && probeTimeoutNs > 0 && probeTimeoutNs < probeIntervalNs && indirectProbes >= 0;
+        boolean suspicionsValid = suspicionMultiplier >= 1 && maxSuspicionFactor >= 1 && maxLocalHealth >= 0;
+        boolean gossipValid = retransmitMultiplier >= 1 && gossipIntervalNs > 0 && gossipFanout >= 0;
+        boolean stateValid = stateExchangeIntervalNs > 0 && forgetAfterNs > 0;
+        if (!probesValid || !suspicionsValid || !gossipValid || !stateValid) {
+            throw new IllegalArgumentException("gossip timings out of range");
         }
     }
 
-    /** The same without Lifeguard's parts. */
-    public GossipTimings plain() {
+    /** Returns the same timings for SWIM alone. */
+    public GossipTimings withoutLifeguard() {
         return new GossipTimings(
-                periodNs,
-                ackNs,
-                indirect,
-                suspicion,
-                suspicionMost,
-                retransmit,
-                mostHealth,
-                newsNs,
-                fan,
-                syncNs,
-                forgetNs,
+                probeIntervalNs,
+                probeTimeoutNs,
+                indirectProbes,
+                suspicionMultiplier,
+                maxSuspicionFactor,
+                retransmitMultiplier,
+                maxLocalHealth,
+                gossipIntervalNs,
+                gossipFanout,
+                stateExchangeIntervalNs,
+                forgetAfterNs,
                 false);
     }
 
-    private static double log(int members) {
-        return Math.max(1, Math.log10(Math.max(1, members)));
-    }
-
-    long suspicionLeastNs(int members) {
-        return (long) (suspicion * log(members) * periodNs);
+    private long minSuspicionNs(int members) {
+        double sizeFactor = Math.max(1, Math.log10(Math.max(1, members)));
+        return (long) (suspicionMultiplier * sizeFactor * probeIntervalNs);
     }
 
     /**
-     * How long a suspicion lasts with so many independent confirmations (Lifeguard, section IV-B): from the longest down to
-     * the shortest, the first confirmation shortening it most.
+     * Returns how long a suspicion lasts with so many independent confirmations (Lifeguard, section IV-B): from the longest
+     * down to the shortest, the first confirmation shortening it most.
      */
     long suspicionNs(int members, int confirmations) {
-        long least = suspicionLeastNs(members);
-        int expected = expected(members);
-        if (!localHealth || expected < 1) {
-            return least;
+        long minNs = minSuspicionNs(members);
+        int expected = expectedConfirmations(members);
+        if (!lifeguard || expected < 1) {
+            return minNs;
         }
-        long most = suspicionMost * least;
-        double part = Math.log(confirmations + 1.0) / Math.log(expected + 1.0);
-        return Math.max(least, (long) (most - part * (most - least)));
+        long maxNs = maxSuspicionFactor * minNs;
+        double progress = Math.log(confirmations + 1.0) / Math.log(expected + 1.0);
+        return Math.max(minNs, (long) (maxNs - progress * (maxNs - minNs)));
     }
 
-    /** Confirmations after which a suspicion is as short as it gets; none where the fleet can't give them. */
-    int expected(int members) {
-        return members - 2 < suspicion - 2 ? 0 : suspicion - 2;
+    /** Returns after how many confirmations a suspicion is shortest (Lifeguard's K); 0 if the fleet is too small for them. */
+    int expectedConfirmations(int members) {
+        return members - 2 < suspicionMultiplier - 2 ? 0 : suspicionMultiplier - 2;
     }
 
-    int transmits(int members) {
-        return (int) Math.ceil(retransmit * Math.ceil(Math.log10(members + 1.0)));
+    /** Returns how often each update is sent in a fleet of that size. */
+    int maxSends(int members) {
+        return (int) Math.ceil(retransmitMultiplier * Math.ceil(Math.log10(members + 1.0)));
     }
 }
--- a/src/main/java/elderseam/gossip/HealthEstimator.java
+++ b/src/main/java/elderseam/gossip/HealthEstimator.java
@@ -5,97 +5,122 @@
 import java.util.Map;
 
 /**
- * What claims may do: an arithmetic of doubt. The doubt about a destination, 0 to 1, only makes own failures weigh more; it
- * does nothing where there are none. Each reporter is worth at most 1,
- * times what its evidence says, and the first of them nothing: one alone is below the
- * least effect, whatever it says, and the doubt grows with what the others add, to 1 at four of full worth.
+ * Turns health reports of a destination into a suspicion, 0 to 1, which makes own failures weigh more and does nothing where
+ * there are none. Each reporter of an open breaker contributes its credibility times its evidence, each 1 at most. One whole
+ * contribution is subtracted from the sum, so that no single reporter has an effect, whatever it says; the suspicion is 1 at
+ * four whole contributions.
  *
- * <p>A reporter that says open of a destination that answers this member's own calls well loses half of its worth, once for a
- * claim; it regains what it lost with a time constant of ten minutes. So a member that lies for ever is worth about nothing
- * after a few claims, and one that erred is heard again within the hour.
+ * <p>A reporter that says open of a destination at which this member's own calls succeed loses half of its credibility, once
+ * for each report, and regains it with a time constant of ten minutes. So a member that always lies is worth nothing after a few
+ * reports, and one that erred is heard again within the hour.
  */
 public final class HealthEstimator {
-    static final double START = 0.8, CONTRADICTED = 0.5;
-    static final double REGAIN_NS = 600e9;
-    /** Own calls of the last 10 s of which this share was delivered contradict a claim that the destination is down. */
-    static final double WELL = 0.8;
+    /** Credibility of a reporter that was never contradicted. */
+    static final double INITIAL_CREDIBILITY = 0.8;
 
-    static final int ENOUGH_CALLS = 5;
-    private static final double FULL = 4;
+    private static final double CONTRADICTED_FACTOR = 0.5;
+    private static final double REGAIN_TIME_CONSTANT_NS = 600e9;
+    /** Own calls contradict an open report if at least this share of them was delivered, */
+    private static final double CONTRADICTING_DELIVERED_SHARE = 0.8;
+    /** and if there were at least so many within {@link HealthReport#WINDOW_MS}. */
+    private static final int MIN_CONTRADICTING_CALLS = 5;
 
-    private static final class Worth {
-        double value = START;
-        long at;
-        final Map<Long, Long> contradicted = new HashMap<>(); // destination: number of the claim that cost
+    private static final double FULL_SUSPICION_SUM = 4;
+    /** Calls that are added to a report's as if they had succeeded, so that a few calls are little evidence. */
+    private static final int ASSUMED_SUCCESSES = 2;
+    /**
+     * Failure share below which a report is no evidence: where a third of all calls fail, breakers trip now and then, and
+     * others are not to follow.
+     */
+    private static final double NO_EVIDENCE_SHARE = 0.4;
+
+    private static final double FULL_EVIDENCE_SHARE_RANGE = 0.4;
+    private static final int MAX_CONTRADICTED_DESTINATIONS = 256;
+
+    private static final class Credibility {
+        double value = INITIAL_CREDIBILITY;
+        long updatedAtNs;
+        /** By destination, the sequence of the last report that own calls contradicted. */
+        final Map<Long, Long> contradictedReports = new HashMap<>();
     }
 
-    private final Map<String, Worth> worth = new HashMap<>();
+    private final Map<String, Credibility> byReporter = new HashMap<>();
 
-    /** What a reporter is worth now, 0 to 1. */
-    public double worth(String reporter, long now) {
-        Worth w = worth.get(reporter);
-        if (w == null) {
-            return START;
+    /** Returns a reporter's credibility now, 0 to 1. */
+    public double credibility(String reporter, long nowNs) {
+        Credibility credibility = byReporter.get(reporter);
+        if (credibility == null) {
+            return INITIAL_CREDIBILITY;
         }
-        w.value = 1 - (1 - w.value) * Math.exp(-(now - w.at) / REGAIN_NS);
-        w.at = now;
-        return w.value;
+        double remainingLoss = Math.exp(-(nowNs - credibility.updatedAtNs) / REGAIN_TIME_CONSTANT_NS);
+        credibility.value = 1 - (1 - credibility.value) * remainingLoss;
+        credibility.updatedAtNs = nowNs;
+        return credibility.value;
     }
 
     /**
-     * The doubt about a destination: {@code claims} of it that count now, {@code calls} and {@code delivered} of this member's
-     * own of the last 10 s.
+     * Returns the suspicion against a destination, 0 to 1, and lowers the credibility of reporters that own calls contradict.
+     *
+     * @param reports other members' current reports of the destination
+     * @param ownCalls this member's calls within {@link HealthReport#WINDOW_MS}
+     * @param ownDelivered how many of these were delivered
      */
-    public double doubt(List<HealthReport> claims, int calls, int delivered, long now) {
+    public double suspicion(List<HealthReport> reports, int ownCalls, int ownDelivered, long nowNs) {
+        boolean contradicted =
+                ownCalls >= MIN_CONTRADICTING_CALLS && ownDelivered >= CONTRADICTING_DELIVERED_SHARE * ownCalls;
         double sum = 0;
-        boolean well = calls >= ENOUGH_CALLS && delivered >= WELL * calls;
-        for (HealthReport c : claims) {
-            if (c.state() != HealthReport.State.OPEN) {
+        for (HealthReport report : reports) {
+            if (report.state() != HealthReport.State.OPEN) {
                 continue;
             }
-            if (well) {
-                contradict(c, now);
+            if (contradicted) {
+                contradict(report, nowNs);
             }
-            sum += worth(c.reporter(), now) * evidence(c);
+            sum += credibility(report.reporter(), nowNs) * evidence(report);
         }
-        return well ? 0 : Math.max(0, Math.min(1, (sum - 1) / (FULL - 1)));
+        return contradicted ? 0 : clamp((sum - 1) / (FULL_SUSPICION_SUM - 1));
     }
 
-    /**
-     * How far what it saw speaks of an outage: nothing below two failures of five calls, all at four of five, with two calls
-     * more laid to the other side. Where a third of all calls fail, breakers trip now and then: others are not to follow.
-     */
-    static double evidence(HealthReport c) {
-        return Math.max(0, Math.min(1, ((double) c.failures() / (c.calls() + 2) - 0.4) / 0.4));
+    /** Returns how far the report's own figures speak of an outage, 0 to 1. */
+    private static double evidence(HealthReport report) {
+        double failureShare = (double) report.failures() / (report.calls() + ASSUMED_SUCCESSES);
+        return clamp((failureShare - NO_EVIDENCE_SHARE) / FULL_EVIDENCE_SHARE_RANGE);
+    }
+
+    private static double clamp(double value) {
+        return Math.max(0, Math.min(1, value));
     }
 
-    private void contradict(HealthReport c, long now) {
-        double before = worth(c.reporter(), now);
-        Worth w = worth.computeIfAbsent(c.reporter(), r -> new Worth());
-        if (w.contradicted.size() > 256) {
-            w.contradicted.clear();
+    private void contradict(HealthReport report, long nowNs) {
+        double before = credibility(report.reporter(), nowNs);
+        Credibility credibility = byReporter.computeIfAbsent(report.reporter(), reporter -> new Credibility());
+        Map<Long, Long> contradicted = credibility.contradictedReports;
+        if (contradicted.size() > MAX_CONTRADICTED_DESTINATIONS) {
+            contradicted.clear();
         }
-        Long cost = w.contradicted.put(c.destination(), c.number());
-        if (cost == null || cost != c.number()) {
-            w.value = before * CONTRADICTED;
-            w.at = now;
+        Long lastSequence = contradicted.put(report.destination(), report.sequence());
+        if (lastSequence == null || lastSequence != report.sequence()) {
+            credibility.value = before * CONTRADICTED_FACTOR;
+            credibility.updatedAtNs = nowNs;
         }
     }
 
     /**
-     * How many of the fleet will try a destination about now, with this member: those that say open or half open, by worth.
-     * The trial of each is spread over so many sleeping windows that all together stay few.
+     * Returns how many members are about to make a trial call to the destination, this one included: those that report an open
+     * or half-open breaker, weighed by credibility. Trial calls are spread over that many sleep windows.
      */
-    public double trying(List<HealthReport> claims, long now) {
+    public double probers(List<HealthReport> reports, long nowNs) {
         double sum = 1;
-        for (HealthReport c : claims) {
-            sum += c.state() == HealthReport.State.CLOSED ? 0 : worth(c.reporter(), now);
+        for (HealthReport report : reports) {
+            if (report.state() != HealthReport.State.CLOSED) {
+                sum += credibility(report.reporter(), nowNs);
+            }
         }
         return sum;
     }
 
-    /** One that is not on the roster any more. */
+    /** Forgets a member that is not on the roster any more. */
     public void remove(String reporter) {
-        worth.remove(reporter);
+        byReporter.remove(reporter);
     }
 }
--- a/src/main/java/elderseam/gossip/HealthReportTable.java
+++ b/src/main/java/elderseam/gossip/HealthReportTable.java
@@ -7,122 +7,152 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 
 /**
- * The claims that are held: of each reporter and destination the newest. As a state it is a join semilattice, the product of
- * one maximum for each reporter and destination, so that merging is commutative, associative and idempotent. What expires does
- * so by the holder's own clock, counted from when the claim was first heard here; a claim that was held, and a newer number
- * seen, does not come back while {@link #KEEP_NS} last. Bounded by {@code mostOfOne} destinations for each reporter.
+ * The newest health report of each reporter and destination. The state is a join semilattice, the product of one maximum for
+ * each reporter and destination, so merging is commutative, associative and idempotent. A report expires by the holder's own
+ * clock, counted from when it was first received here; it stays remembered for longer, so that an older one can't return.
+ *
+ * <p>Bounded by a number of destinations for each reporter; the caller bounds the reporters by a roster.
  */
 public final class HealthReportTable {
-    /** A claim counts for so long at most, whatever it says. */
-    public static final long TTL_NS = 10_000_000_000L;
-    /** Its number is remembered for so long, against those that come late. */
-    public static final long KEEP_NS = 120_000_000_000L;
+    /** For how long a report is current, from when it was received. */
+    public static final long TTL_NS = TimeUnit.SECONDS.toNanos(10);
+    /** For how long a report is remembered against older ones, from when it was received. */
+    public static final long RETENTION_NS = TimeUnit.SECONDS.toNanos(120);
+
+    private record Entry(HealthReport report, long receivedAtNs) {
+        boolean isCurrent(long nowNs) {
+            return nowNs - receivedAtNs < TTL_NS;
+        }
 
-    private record Held(HealthReport claim, long heardAt) {}
+        boolean isOlderThan(HealthReport other) {
+            return HealthReport.BY_AGE.compare(report, other) < 0;
+        }
+    }
 
-    private final int mostOfOne;
-    private final Map<String, Map<Long, Held>> byReporter = new HashMap<>();
+    private final int maxDestinationsPerReporter;
+    private final Map<String, Map<Long, Entry>> byReporter = new HashMap<>();
 
-    public HealthReportTable(int mostOfOne) {
-        this.mostOfOne = mostOfOne;
+    /** Starts empty. */
+    public HealthReportTable(int maxDestinationsPerReporter) {
+        this.maxDestinationsPerReporter = maxDestinationsPerReporter;
     }
 
-    /** Whether it is news. */
-    public boolean hear(HealthReport c, long now) {
-        Map<Long, Held> of = byReporter.computeIfAbsent(c.reporter(), r -> new HashMap<>());
-        Held h = of.get(c.destination());
-        if (h != null && HealthReport.AGE.compare(c, h.claim) <= 0) {
+    /** Adds the report if it is newer than what is held; whether it was added. A full reporter loses its oldest report. */
+    public boolean add(HealthReport report, long nowNs) {
+        Map<Long, Entry> byDestination = byReporter.computeIfAbsent(report.reporter(), reporter -> new HashMap<>());
+        Entry held = byDestination.get(report.destination());
+        if (held != null && !held.isOlderThan(report)) {
             return false;
         }
-        if (h == null && of.size() >= mostOfOne) {
-            Long oldest = null;
-            for (Map.Entry<Long, Held> e : of.entrySet()) {
-                if (oldest == null || HealthReport.AGE.compare(e.getValue().claim, of.get(oldest).claim) < 0) {
-                    oldest = e.getKey();
-                }
-            }
-            if (HealthReport.AGE.compare(c, of.get(oldest).claim) <= 0) {
+        if (held == null && byDestination.size() >= maxDestinationsPerReporter) {
+            Entry oldest = oldest(byDestination);
+            if (!oldest.isOlderThan(report)) {
                 return false;
             }
-            of.remove(oldest);
+            byDestination.remove(oldest.report.destination());
         }
-        of.put(c.destination(), new Held(c, now));
+        byDestination.put(report.destination(), new Entry(report, nowNs));
         return true;
     }
 
-    /** What is held of that reporter and destination, or null. */
-    private Held held(HealthReport c) {
-        return byReporter.getOrDefault(c.reporter(), Map.of()).get(c.destination());
+    private static Entry oldest(Map<Long, Entry> entries) {
+        Entry oldest = null;
+        for (Entry entry : entries.values()) {
+            if (oldest == null || entry.isOlderThan(oldest.report)) {
+                oldest = entry;
+            }
+        }
+        return oldest;
+    }
+
+    /** Returns what is held of the report's reporter and destination; null if nothing is. */
+    private Entry held(HealthReport report) {
+        return byReporter.getOrDefault(report.reporter(), Map.of()).get(report.destination());
     }
 
-    /** Whether {@link #hear} would take it for news, as far as its own number tells. */
-    public boolean isNews(HealthReport c) {
-        Held h = held(c);
-        return h == null || HealthReport.AGE.compare(c, h.claim) > 0;
+    /** Whether the report is newer than what is held of its reporter and destination. */
+    public boolean isNewer(HealthReport report) {
+        Entry held = held(report);
+        return held == null || held.isOlderThan(report);
     }
 
-    /** Whether that very claim is held and counts now. */
-    boolean counts(HealthReport c, long now) {
-        return holds(c) && now - held(c).heardAt < TTL_NS;
+    /** Whether this very report is held. */
+    boolean contains(HealthReport report) {
+        Entry held = held(report);
+        return held != null && held.report.equals(report);
     }
 
-    /** Whether that very claim is held. */
-    boolean holds(HealthReport c) {
-        Held h = held(c);
-        return h != null && h.claim.equals(c);
+    /** Whether this very report is held, and has not expired. */
+    boolean isCurrent(HealthReport report, long nowNs) {
+        Entry held = held(report);
+        return held != null && held.report.equals(report) && held.isCurrent(nowNs);
     }
 
-    /** Destinations of which anybody but that one says something that counts now. */
-    Set<Long> destinations(String but, long now) {
-        Set<Long> all = new TreeSet<>();
-        byReporter.forEach((reporter, of) -> of.forEach((destination, h) -> {
-            if (!reporter.equals(but) && now - h.heardAt < TTL_NS) {
-                all.add(destination);
+    /** Returns the destinations of which any reporter but {@code excluded} has a current report, in ascending order. */
+    Set<Long> reportedDestinations(String excluded, long nowNs) {
+        Set<Long> destinations = new TreeSet<>();
+        byReporter.forEach((reporter, entries) -> {
+            if (!reporter.equals(excluded)) {
+                addCurrentDestinations(entries, nowNs, destinations);
             }
-        }));
-        return all;
+        });
+        return destinations;
     }
 
-    /** The claims that count now, of one destination. */
-    public List<HealthReport> of(long destination, long now) {
-        List<HealthReport> found = new ArrayList<>();
-        byReporter.values().forEach(of -> {
-            Held h = of.get(destination);
-            if (h != null && now - h.heardAt < TTL_NS) {
-                found.add(h.claim);
+    private static void addCurrentDestinations(Map<Long, Entry> entries, long nowNs, Set<Long> destinations) {
+        entries.forEach((destination, entry) -> {
+            if (entry.isCurrent(nowNs)) {
+                destinations.add(destination);
             }
         });
-        return found;
     }
 
-    /** What is left of a told wait, as its claim said and by this clock; 0 where it is over. */
-    public long waitNs(HealthReport c, long now) {
-        Held h = held(c);
-        return h == null ? 0 : Math.max(0, Math.min(TTL_NS, c.waitMs() * 1_000_000L) - (now - h.heardAt));
+    /** Returns the current reports of one destination. */
+    public List<HealthReport> currentReports(long destination, long nowNs) {
+        List<HealthReport> reports = new ArrayList<>();
+        for (Map<Long, Entry> entries : byReporter.values()) {
+            Entry entry = entries.get(destination);
+            if (entry != null && entry.isCurrent(nowNs)) {
+                reports.add(entry.report);
+            }
+        }
+        return reports;
+    }
+
+    /** Returns what is left of the Retry-After of a held report, in nanoseconds by this clock; 0 if it is over. */
+    public long remainingRetryAfterNs(HealthReport report, long nowNs) {
+        Entry held = held(report);
+        if (held == null) {
+            return 0;
+        }
+        long retryAfterNs = Math.min(TTL_NS, TimeUnit.MILLISECONDS.toNanos(report.retryAfterMs()));
+        return Math.max(0, retryAfterNs - (nowNs - held.receivedAtNs));
     }
 
-    /** Every claim that is held, newest of each. */
+    /** Returns every report that is held, also expired ones. */
     public List<HealthReport> all() {
-        List<HealthReport> all = new ArrayList<>();
-        byReporter.values().forEach(of -> of.values().forEach(h -> all.add(h.claim)));
-        return all;
+        List<HealthReport> reports = new ArrayList<>();
+        byReporter.values().forEach(entries -> entries.values().forEach(entry -> reports.add(entry.report)));
+        return reports;
     }
 
-    /** Forgets what is older than its number need be remembered. */
-    public void sweep(long now) {
-        for (Iterator<Map<Long, Held>> i = byReporter.values().iterator(); i.hasNext(); ) {
-            Map<Long, Held> of = i.next();
-            of.values().removeIf(h -> now - h.heardAt >= KEEP_NS);
-            if (of.isEmpty()) {
-                i.remove();
+    /** Removes the reports that need not be remembered any more. */
+    public void removeOutdated(long nowNs) {
+        Iterator<Map<Long, Entry>> reporters = byReporter.values().iterator();
+        while (reporters.hasNext()) {
+            Map<Long, Entry> entries = reporters.next();
+            entries.values().removeIf(entry -> nowNs - entry.receivedAtNs >= RETENTION_NS);
+            if (entries.isEmpty()) {
+                reporters.remove();
             }
         }
     }
 
-    /** One that is not on the roster any more. */
-    public void remove(String reporter) {
+    /** Removes all reports of a member that is not on the roster any more. */
+    public void removeReporter(String reporter) {
         byReporter.remove(reporter);
     }
 }
--- a/src/main/java/elderseam/gossip/MembershipTable.java
+++ b/src/main/java/elderseam/gossip/MembershipTable.java
@@ -5,231 +5,279 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 /**
- * The members as this one holds them, and how what others say changes that: the state machine of SWIM's suspicions and
- * incarnations with Lifeguard's suspicion times. It says on what is news, and defends its own member. No probe and no timer is
- * here; {@link Membership} has those.
+ * The other members as this one knows them, and how updates change that: SWIM's state machine of suspicions and incarnations
+ * (section 4.2) with Lifeguard's suspicion times. It announces what is new, and refutes what is wrong about this member.
+ * Probes and timers are elsewhere: {@link FailureDetector}, {@link Membership}.
  */
 final class MembershipTable {
-    private static final int MOST_SUBJECTS = 1_024;
-
-    private final String self, address;
-    private final GossipTimings tempo;
-    private final BiConsumer<String, MemberState> changed;
-    private final Consumer<Member> joined;
-    private final Runnable accused;
-    private final Map<String, Member> members = new LinkedHashMap<>(); // not this one
-    private final PiggybackQueue<MembershipUpdate> rumours =
-            new PiggybackQueue<>(MOST_SUBJECTS, MembershipUpdate::bytes);
-    private long incarnation;
-    /** The same members, so that one can be drawn; those that wait for something: suspects for their end, others to be forgotten. */
-    private final List<Member> list = new ArrayList<>();
-
-    private final Map<String, Member> waiting = new LinkedHashMap<>();
-    private int there; // members that are neither dead nor left
-
-    /** {@code joined}: told of each new member before {@code changed} is; {@code accused}: run when this one hears itself
-     *  suspected. */
-    MembershipTable(
-            String self,
-            String address,
-            long incarnation,
-            GossipTimings tempo,
-            BiConsumer<String, MemberState> changed,
-            Consumer<Member> joined,
-            Runnable accused) {
-        this.self = self;
-        this.address = address;
-        this.incarnation = incarnation;
-        this.tempo = tempo;
-        this.changed = changed;
-        this.joined = joined;
-        this.accused = accused;
-        rumours.say(self, own(MemberState.ALIVE));
-    }
-
-    /** What this member says of itself. */
-    MembershipUpdate own(MemberState standing) {
-        return new MembershipUpdate(self, address, standing, incarnation, self);
-    }
-
-    /** What this member says of another. */
-    MembershipUpdate of(Member m) {
-        String from = m.standing == MemberState.SUSPECT || m.standing == MemberState.DEAD ? self : m.name;
-        return new MembershipUpdate(m.name, m.address, m.standing, m.incarnation, from);
-    }
-
-    List<Member> all() {
-        return list;
-    }
-
-    /** Suspects, dead and left ones. */
+    /** Notified of changes, in the order in which they take effect. */
+    interface Listener {
+        /** A member became known; before {@link #stateChanged}. */
+        void memberJoined(Member member);
+
+        /** The state of another member changed. */
+        void stateChanged(String member, MemberState state);
+
+        /** Another member suspects this one. */
+        void selfSuspected();
+    }
+
+    private static final int MAX_ANNOUNCED_MEMBERS = 1_024;
+
+    private final String self;
+    private final String ownAddress;
+    private final GossipTimings timings;
+    private final Listener listener;
+    private final Map<String, Member> byName = new LinkedHashMap<>();
+    /** The members of {@link #byName}, so that one can be drawn at random. */
+    private final List<Member> members = new ArrayList<>();
+    /** Those that a timer runs for: suspects until they are dead, dead and left ones until they are forgotten. */
+    private final Map<String, Member> notAlive = new LinkedHashMap<>();
+
+    private final PiggybackQueue<MembershipUpdate> announcements =
+            new PiggybackQueue<>(MAX_ANNOUNCED_MEMBERS, MembershipUpdate::maxEncodedBytes);
+    private long ownIncarnation;
+    private int othersPresent;
+
+    MembershipTable(LocalMember self, GossipTimings timings, Listener listener) {
+        this.self = self.name();
+        this.ownAddress = self.address();
+        this.ownIncarnation = self.incarnation();
+        this.timings = timings;
+        this.listener = listener;
+        announceSelf();
+    }
+
+    // ---------------------------------------------------------------- reading
+
+    /** Returns what this member says of itself. */
+    MembershipUpdate ownUpdate(MemberState state) {
+        return new MembershipUpdate(self, ownAddress, state, ownIncarnation, self);
+    }
+
+    /** Returns what this member says of another. */
+    MembershipUpdate updateOf(Member member) {
+        boolean isAccused = member.state == MemberState.SUSPECT || member.state == MemberState.DEAD;
+        String origin = isAccused ? self : member.name;
+        return new MembershipUpdate(member.name, member.address, member.state, member.incarnation, origin);
+    }
+
+    /** Returns all other members; a view. */
+    List<Member> members() {
+        return members;
+    }
+
+    /** Returns the members that are suspected, dead or have left; a view. */
     Collection<Member> notAlive() {
-        return waiting.values();
+        return notAlive.values();
     }
 
-    Member get(String name) {
-        return members.get(name);
+    /** Returns the member of that name, or null if it is unknown or this one. */
+    Member find(String name) {
+        return byName.get(name);
     }
 
-    boolean holds(Member m) {
-        return members.get(m.name) == m;
+    /** Whether the member is still known; false also if it was forgotten and has joined again since. */
+    boolean contains(Member member) {
+        return byName.get(member.name) == member;
     }
 
-    /** Those present, with this member. */
-    int present() {
-        return 1 + there;
+    /** Returns how many members are present, this one included. */
+    int presentCount() {
+        return 1 + othersPresent;
     }
 
-    PiggybackQueue<MembershipUpdate> rumours() {
-        return rumours;
+    /** Returns the updates to be piggybacked. */
+    PiggybackQueue<MembershipUpdate> announcements() {
+        return announcements;
     }
 
-    /** When a suspicion ends in death. */
-    long deadAt(Member m) {
-        int confirmations = Math.max(0, m.confirmed.size() - 1);
-        return m.since + tempo.suspicionNs(present(), Math.min(confirmations, tempo.expected(present())));
+    /** Returns all that is known, beginning with this member in {@code ownState}. */
+    List<MembershipUpdate> fullState(MemberState ownState) {
+        List<MembershipUpdate> updates = new ArrayList<>();
+        updates.add(ownUpdate(ownState));
+        byName.values().forEach(member -> updates.add(updateOf(member)));
+        return updates;
     }
 
-    /** Suspicions end, and those long gone are forgotten. */
-    void tick(long now) {
-        for (Member m : waiting.isEmpty() ? List.<Member>of() : List.copyOf(waiting.values())) {
-            if (m.standing == MemberState.SUSPECT && now >= deadAt(m)) {
-                become(m, MemberState.DEAD, m.incarnation, now);
-                say(m);
-            } else if (!m.there() && now - m.since >= tempo.forgetNs()) {
-                forget(m);
+    /** Returns when a suspect will be considered dead unless it refutes. */
+    long suspicionEndNs(Member suspect) {
+        int members = presentCount();
+        int confirmations = Math.max(0, suspect.suspectedBy.size() - 1);
+        int counted = Math.min(confirmations, timings.expectedConfirmations(members));
+        return suspect.stateSinceNs + timings.suspicionNs(members, counted);
+    }
+
+    // ---------------------------------------------------------------- timers
+
+    /** Declares suspects dead whose time is up, and forgets members that have been gone for long. */
+    void expire(long nowNs) {
+        if (notAlive.isEmpty()) {
+            return;
+        }
+        for (Member member : List.copyOf(notAlive.values())) {
+            if (member.state == MemberState.SUSPECT && nowNs >= suspicionEndNs(member)) {
+                changeState(member, MemberState.DEAD, member.incarnation, nowNs);
+                announce(member);
+            } else if (!member.isPresent() && nowNs - member.stateSinceNs >= timings.forgetAfterNs()) {
+                forget(member);
             }
         }
     }
 
-    /** The whole state, with this member as {@code own}. */
-    List<MembershipUpdate> state(MemberState own) {
-        List<MembershipUpdate> all = new ArrayList<>();
-        all.add(own(own));
-        members.values().forEach(m -> all.add(of(m)));
-        return all;
+    // ---------------------------------------------------------------- updates
+
+    /** Applies another member's full state. Members that are dead there are only suspected here, so that they can refute. */
+    void mergeFullState(List<MembershipUpdate> state, long nowNs) {
+        for (MembershipUpdate update : state) {
+            apply(update.state() == MemberState.DEAD ? asSuspicion(update) : update, nowNs);
+        }
+    }
+
+    private static MembershipUpdate asSuspicion(MembershipUpdate update) {
+        return new MembershipUpdate(
+                update.member(), update.address(), MemberState.SUSPECT, update.incarnation(), update.origin());
     }
 
-    /** Another's whole state; its dead are only suspects here, so that they may speak for themselves. */
-    void merge(List<MembershipUpdate> state, long now) {
-        for (MembershipUpdate r : state) {
-            hear(
-                    r.standing() == MemberState.DEAD
-                            ? new MembershipUpdate(
-                                    r.member(), r.address(), MemberState.SUSPECT, r.incarnation(), r.from())
-                            : r,
-                    now);
+    /** Applies one update, as far as it is newer than what is known. */
+    void apply(MembershipUpdate update, long nowNs) {
+        if (update.member().equals(self)) {
+            refuteIfWrong(update);
+            return;
+        }
+        Member member = byName.get(update.member());
+        if (member == null) {
+            addUnlessGone(update, nowNs);
+        } else if (update.state() == MemberState.ALIVE) {
+            applyAlive(member, update, nowNs);
+        } else if (update.incarnation() >= member.incarnation && member.isPresent()) {
+            applyAccusation(member, update, nowNs);
         }
     }
 
-    void hear(MembershipUpdate r, long now) {
-        Member m = members.get(r.member());
-        if (r.member().equals(self)) {
-            hearOfSelf(r);
-        } else if (m == null) {
-            hearOfNew(r, now);
-        } else if (r.standing() == MemberState.ALIVE) {
-            if (r.incarnation() > m.incarnation) {
-                m.address = r.address();
-                become(m, MemberState.ALIVE, r.incarnation(), now);
-                say(m);
-            }
-        } else if (r.incarnation() >= m.incarnation && m.there()) {
-            if (r.standing() == MemberState.SUSPECT) {
-                suspect(m, r.incarnation(), r.from(), now);
-            } else {
-                become(m, r.standing(), r.incarnation(), now);
-                say(m);
-            }
+    private void applyAlive(Member member, MembershipUpdate update, long nowNs) {
+        if (update.incarnation() > member.incarnation) {
+            member.address = update.address();
+            changeState(member, MemberState.ALIVE, update.incarnation(), nowNs);
+            announce(member);
+        }
+    }
+
+    private void applyAccusation(Member member, MembershipUpdate update, long nowNs) {
+        if (update.state() == MemberState.SUSPECT) {
+            suspect(member, update.incarnation(), update.origin(), nowNs);
+        } else {
+            changeState(member, update.state(), update.incarnation(), nowNs);
+            announce(member);
         }
     }
 
-    private void hearOfNew(MembershipUpdate r, long now) {
-        if (r.standing() == MemberState.DEAD || r.standing() == MemberState.LEFT) {
+    private void addUnlessGone(MembershipUpdate update, long nowNs) {
+        if (!update.state().isPresent()) {
             return;
         }
-        Member m = new Member(r.member(), r.address(), r.incarnation(), now);
-        members.put(m.name, m);
-        m.at = list.size();
-        list.add(m);
-        there++;
-        joined.accept(m);
-        changed.accept(m.name, MemberState.ALIVE);
-        say(m);
-        if (r.standing() == MemberState.SUSPECT) {
-            suspect(m, r.incarnation(), r.from(), now);
-        }
-    }
-
-    private void hearOfSelf(MembershipUpdate r) {
-        boolean wrong = (r.standing() != MemberState.ALIVE && r.incarnation() >= incarnation)
-                || (r.standing() == MemberState.ALIVE
-                        && (r.incarnation() > incarnation
-                                || (r.incarnation() == incarnation
-                                        && !r.address().equals(address))));
-        if (wrong) {
-            incarnation = r.incarnation() + 1;
-            if (r.standing() == MemberState.SUSPECT) {
-                accused.run();
-            }
-            rumours.say(self, own(MemberState.ALIVE));
+        Member member = new Member(update.member(), update.address(), update.incarnation(), nowNs);
+        byName.put(member.name, member);
+        member.listIndex = members.size();
+        members.add(member);
+        othersPresent++;
+        listener.memberJoined(member);
+        listener.stateChanged(member.name, MemberState.ALIVE);
+        announce(member);
+        if (update.state() == MemberState.SUSPECT) {
+            suspect(member, update.incarnation(), update.origin(), nowNs);
+        }
+    }
+
+    private void refuteIfWrong(MembershipUpdate update) {
+        if (!contradictsSelf(update)) {
+            return;
+        }
+        ownIncarnation = update.incarnation() + 1;
+        if (update.state() == MemberState.SUSPECT) {
+            listener.selfSuspected();
+        }
+        announceSelf();
+    }
+
+    /** Whether the update would override what this member says of itself. */
+    private boolean contradictsSelf(MembershipUpdate update) {
+        if (update.state() != MemberState.ALIVE) {
+            return update.incarnation() >= ownIncarnation;
         }
+        boolean sameIncarnationElsewhere =
+                update.incarnation() == ownIncarnation && !update.address().equals(ownAddress);
+        return update.incarnation() > ownIncarnation || sameIncarnationElsewhere;
     }
 
-    /** One more suspects it; the first begins the suspicion, later ones shorten it, as many as count. */
-    void suspect(Member m, long atIncarnation, String from, long now) {
-        if (m.standing != MemberState.SUSPECT || atIncarnation != m.incarnation) {
-            become(m, MemberState.SUSPECT, atIncarnation, now);
-        } else if (m.confirmed.size() > tempo.expected(present()) || m.confirmed.contains(from)) {
+    /** Begins a suspicion, or counts {@code accuser} as a confirmation, which shortens it, as far as confirmations count. */
+    void suspect(Member member, long incarnation, String accuser, long nowNs) {
+        if (member.state != MemberState.SUSPECT || incarnation != member.incarnation) {
+            changeState(member, MemberState.SUSPECT, incarnation, nowNs);
+        } else if (member.suspectedBy.contains(accuser) || isFullyConfirmed(member)) {
             return;
         }
-        m.confirmed.add(from);
-        rumours.say(m.name, new MembershipUpdate(m.name, m.address, MemberState.SUSPECT, m.incarnation, from));
+        member.suspectedBy.add(accuser);
+        MembershipUpdate suspicion =
+                new MembershipUpdate(member.name, member.address, MemberState.SUSPECT, member.incarnation, accuser);
+        announcements.put(member.name, suspicion);
+    }
+
+    private boolean isFullyConfirmed(Member suspect) {
+        return suspect.suspectedBy.size() > timings.expectedConfirmations(presentCount());
     }
 
-    private void become(Member m, MemberState standing, long atIncarnation, long now) {
-        MemberState before = m.standing;
-        there -= m.there() ? 1 : 0;
-        m.standing = standing;
-        there += m.there() ? 1 : 0;
-        m.incarnation = atIncarnation;
-        m.since = now;
-        m.confirmed.clear();
-        if (standing == MemberState.ALIVE) {
-            waiting.remove(m.name);
+    private void changeState(Member member, MemberState state, long incarnation, long nowNs) {
+        MemberState before = member.state;
+        othersPresent += (state.isPresent() ? 1 : 0) - (before.isPresent() ? 1 : 0);
+        member.state = state;
+        member.incarnation = incarnation;
+        member.stateSinceNs = nowNs;
+        member.suspectedBy.clear();
+        if (state == MemberState.ALIVE) {
+            notAlive.remove(member.name);
         } else {
-            waiting.put(m.name, m);
+            notAlive.put(member.name, member);
         }
-        if (before != standing) {
-            changed.accept(m.name, standing);
+        if (before != state) {
+            listener.stateChanged(member.name, state);
         }
     }
 
-    private void say(Member m) {
-        rumours.say(m.name, of(m));
+    private void announce(Member member) {
+        announcements.put(member.name, updateOf(member));
+    }
+
+    private void announceSelf() {
+        announcements.put(self, ownUpdate(MemberState.ALIVE));
     }
 
-    /** One that is not on the roster any more. */
+    // ---------------------------------------------------------------- removal
+
+    /** Removes a member that is not on the roster any more. */
     void remove(String name) {
-        Member m = members.get(name);
-        if (m != null) {
-            there -= m.there() ? 1 : 0;
-            forget(m);
+        Member member = byName.get(name);
+        if (member != null) {
+            othersPresent -= member.isPresent() ? 1 : 0;
+            forget(member);
         }
     }
 
-    private void forget(Member m) {
-        members.remove(m.name);
-        waiting.remove(m.name);
-        Member last = list.remove(list.size() - 1);
-        if (last != m) {
-            list.set(m.at, last);
-            last.at = m.at;
+    private void forget(Member member) {
+        byName.remove(member.name);
+        notAlive.remove(member.name);
+        removeFromList(member);
+        announcements.remove(member.name);
+    }
+
+    /** Moves the last member of the list into the gap, so that no other index changes. */
+    private void removeFromList(Member member) {
+        Member last = members.remove(members.size() - 1);
+        if (last != member) {
+            members.set(member.listIndex, last);
+            last.listIndex = member.listIndex;
         }
-        rumours.forget(m.name);
     }
 }
--- a/src/main/java/elderseam/gossip/Message.java
+++ b/src/main/java/elderseam/gossip/Message.java
@@ -1,27 +1,34 @@
 package elderseam.gossip;
 
-import java.util.List;
-
-/** What members say to each other, without what travels along. */
+/**
+ * The messages between members, after SWIM (Das, Gupta, Motivala 2002, section 3.1) and Lifeguard (Dadgar, Phillips, Currey
+ * 2018, section IV). Membership updates and health reports are piggybacked on each: see {@link Packet}.
+ */
 public sealed interface Message {
-    /** Are you there? {@code target}: who is asked, since an address may have passed to another. */
-    record Ping(long number, String target) implements Message {}
-
-    /** Ask that one for me. */
-    record PingFor(long number, String target) implements Message {}
-
-    /** I am, or the one asked for is. */
-    record Ack(long number) implements Message {}
-
-    /** I have asked, and have heard nothing yet: I am well, the one asked for may not be. */
-    record Nack(long number) implements Message {}
-
-    /** Nothing but what travels along. */
-    record News() implements Message {}
-
-    /** All that I hold travels along; {@code answer}: I have got yours. */
-    record State(boolean answer) implements Message {}
-
-    /** A message to a member. */
-    record Sent(String to, Message message, List<MembershipUpdate> first) {}
+    /**
+     * Asks the receiver for an {@link Ack}.
+     *
+     * @param sequence repeated in the answer
+     * @param target the member that is meant: another one may have taken over its address
+     */
+    record Ping(long sequence, String target) implements Message {}
+
+    /** SWIM's ping-req: asks the receiver to ping {@code target} and to pass its answer on. */
+    record PingRequest(long sequence, String target) implements Message {}
+
+    /** Answers a {@link Ping}, or a {@link PingRequest} whose target has answered. */
+    record Ack(long sequence) implements Message {}
+
+    /** Answers a {@link PingRequest} whose target has not answered yet: the helper is well, the target may not be. */
+    record Nack(long sequence) implements Message {}
+
+    /** Carries nothing but what is piggybacked on it. */
+    record Gossip() implements Message {}
+
+    /**
+     * One half of a full state exchange (push-pull); the state is piggybacked on it.
+     *
+     * @param isReply whether it answers the other member's state
+     */
+    record FullState(boolean isReply) implements Message {}
 }
--- a/src/main/java/elderseam/gossip/PacketCodec.java
+++ b/src/main/java/elderseam/gossip/PacketCodec.java
@@ -8,214 +8,236 @@
 import java.util.List;
 
 /**
- * Packets as bytes, big-endian; docs/gossip.md has the layout. What can't be read is null and says nothing of why: it comes
- * from whoever could reach the port. Names are 1 to 64 of {@code A-Za-z0-9._-}, addresses up to 64 printable characters.
+ * Packets as bytes, big-endian; docs/gossip.md has the layout. A text has its length before it, in one byte. Names are as in
+ * {@link MemberNames}, addresses up to 64 printable ASCII characters.
  */
 public final class PacketCodec {
-    private static final int LONGEST = 64, MOST = 4_096; // characters of a name; rumours, and claims, of one packet
+    private static final byte PING = 1;
+    private static final byte PING_REQUEST = 2;
+    private static final byte ACK = 3;
+    private static final byte NACK = 4;
+    private static final byte GOSSIP = 5;
+    private static final byte FULL_STATE = 6;
+    private static final byte FULL_STATE_REPLY = 7;
+
+    private static final int MAX_TEXT_LENGTH = 64;
+    /** Most updates, and most reports, of one packet. */
+    private static final int MAX_COUNT = 4_096;
+    /** Room that is set aside before anything was read; a count is not trusted. */
+    private static final int MAX_INITIAL_CAPACITY = 64;
+    /** Above it a refutation, which raises the incarnation by one, might overflow some day. */
+    private static final long MAX_INCARNATION = Long.MAX_VALUE / 2;
+
+    private static final int MAX_SIGNED_BYTES = 128;
 
     private PacketCodec() {}
 
-    public static byte[] encode(Packet p, int most) {
-        ByteBuffer b = ByteBuffer.allocate(most);
-        Message m = p.message();
-        if (m instanceof Message.Ping x) {
-            b.put((byte) 1).putLong(x.number());
-            text(b, x.target());
-        } else if (m instanceof Message.PingFor x) {
-            b.put((byte) 2).putLong(x.number());
-            text(b, x.target());
-        } else if (m instanceof Message.Ack x) {
-            b.put((byte) 3).putLong(x.number());
-        } else if (m instanceof Message.Nack x) {
-            b.put((byte) 4).putLong(x.number());
-        } else if (m instanceof Message.State x) {
-            b.put((byte) (x.answer() ? 7 : 6));
-        } else {
-            b.put((byte) 5);
-        }
-        b.putShort((short) p.rumours().size());
-        for (MembershipUpdate r : p.rumours()) {
-            text(b, r.member());
-            text(b, r.address());
-            b.put((byte) r.standing().ordinal()).putLong(r.incarnation());
-            text(b, r.from());
+    // ---------------------------------------------------------------- encoding
+
+    /**
+     * Encodes a packet.
+     *
+     * @throws BufferOverflowException if it has more than {@code maxBytes}, or a text of more than 64 characters
+     */
+    public static byte[] encode(Packet packet, int maxBytes) {
+        ByteBuffer out = ByteBuffer.allocate(maxBytes);
+        putMessage(out, packet.message());
+        out.putShort((short) packet.updates().size());
+        for (MembershipUpdate update : packet.updates()) {
+            putUpdate(out, update);
         }
-        b.putShort((short) p.claims().size());
-        for (SignedReport s : p.claims()) {
-            sealed(b, s.claim(), s.wallMs(), s.key());
-            b.put(s.seal());
+        out.putShort((short) packet.reports().size());
+        for (SignedReport signed : packet.reports()) {
+            putReport(out, signed.report(), signed.reporterWallMs(), signed.keyId());
+            out.put(signed.signature());
         }
-        byte[] bytes = new byte[b.position()];
-        b.flip().get(bytes);
-        return bytes;
+        return written(out);
     }
 
-    /** What a claim's seal is over. */
-    public static byte[] sealed(HealthReport c, long wallMs, int key) {
-        ByteBuffer b = ByteBuffer.allocate(128);
-        sealed(b, c, wallMs, key);
-        byte[] bytes = new byte[b.position()];
-        b.flip().get(bytes);
+    /** Returns the bytes that a health report's signature is over. */
+    public static byte[] signedBytes(HealthReport report, long reporterWallMs, int keyId) {
+        ByteBuffer out = ByteBuffer.allocate(MAX_SIGNED_BYTES);
+        putReport(out, report, reporterWallMs, keyId);
+        return written(out);
+    }
+
+    private static byte[] written(ByteBuffer out) {
+        byte[] bytes = new byte[out.position()];
+        out.flip().get(bytes);
         return bytes;
     }
 
-    private static void sealed(ByteBuffer b, HealthReport c, long wallMs, int key) {
-        text(b, c.reporter());
-        b.putLong(c.incarnation()).putLong(c.number()).putLong(c.destination()).put((byte)
-                c.state().ordinal());
-        b.putInt(c.waitMs())
-                .putInt(c.calls())
-                .putInt(c.failures())
-                .putInt(c.windowMs())
-                .putLong(wallMs)
-                .putInt(key);
+    private static void putMessage(ByteBuffer out, Message message) {
+        if (message instanceof Message.Ping ping) {
+            out.put(PING).putLong(ping.sequence());
+            putText(out, ping.target());
+        } else if (message instanceof Message.PingRequest request) {
+            out.put(PING_REQUEST).putLong(request.sequence());
+            putText(out, request.target());
+        } else if (message instanceof Message.Ack ack) {
+            out.put(ACK).putLong(ack.sequence());
+        } else if (message instanceof Message.Nack nack) {
+            out.put(NACK).putLong(nack.sequence());
+        } else if (message instanceof Message.FullState state) {
+            out.put(state.isReply() ? FULL_STATE_REPLY : FULL_STATE);
+        } else {
+            out.put(GOSSIP);
+        }
+    }
+
+    private static void putUpdate(ByteBuffer out, MembershipUpdate update) {
+        putText(out, update.member());
+        putText(out, update.address());
+        out.put((byte) update.state().wireCode());
+        out.putLong(update.incarnation());
+        putText(out, update.origin());
+    }
+
+    private static void putReport(ByteBuffer out, HealthReport report, long reporterWallMs, int keyId) {
+        putText(out, report.reporter());
+        out.putLong(report.incarnation());
+        out.putLong(report.sequence());
+        out.putLong(report.destination());
+        out.put((byte) report.state().wireCode());
+        out.putInt(report.retryAfterMs());
+        out.putInt(report.calls());
+        out.putInt(report.failures());
+        out.putInt(report.windowMs());
+        out.putLong(reporterWallMs);
+        out.putInt(keyId);
     }
 
-    /** A packet, or null: nothing may be left over. */
-    public static Packet decode(ByteBuffer b) {
+    private static void putText(ByteBuffer out, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        if (bytes.length > MAX_TEXT_LENGTH) {
+            throw new BufferOverflowException();
+        }
+        out.put((byte) bytes.length).put(bytes);
+    }
+
+    // ---------------------------------------------------------------- decoding
+
+    /**
+     * Decodes a packet that fills the buffer.
+     *
+     * @throws MalformedPacketException if the bytes are no packet, or more than one
+     */
+    public static Packet decode(ByteBuffer in) {
         try {
-            Message m = message(b);
-            int rumours = b.getShort();
-            if (m == null || rumours < 0 || rumours > MOST) {
-                return null;
-            }
-            List<MembershipUpdate> heard = new ArrayList<>(Math.min(rumours, 64));
-            for (int i = 0; i < rumours; i++) {
-                String member = name(b), address = address(b);
-                int standing = b.get();
-                long incarnation = b.getLong();
-                String from = name(b);
-                if (member == null
-                        || address == null
-                        || from == null
-                        || standing < 0
-                        || standing > 3
-                        || incarnation < 0
-                        || incarnation > Long.MAX_VALUE / 2) { // outbidding it must not run over
-                    return null;
-                }
-                heard.add(new MembershipUpdate(member, address, MemberState.values()[standing], incarnation, from));
-            }
-            int claims = b.getShort();
-            if (claims < 0 || claims > MOST) {
-                return null;
+            Message message = message(in);
+            List<MembershipUpdate> updates = updates(in);
+            List<SignedReport> reports = reports(in);
+            if (in.hasRemaining()) {
+                throw new MalformedPacketException();
             }
-            List<SignedReport> told = new ArrayList<>(Math.min(claims, 64));
-            for (int i = 0; i < claims; i++) {
-                SignedReport s = claim(b);
-                if (s == null) {
-                    return null;
-                }
-                told.add(s);
-            }
-            return b.hasRemaining() ? null : new Packet(m, heard, told);
+            return new Packet(message, updates, reports);
         } catch (BufferUnderflowException e) {
-            return null;
+            throw new MalformedPacketException();
         }
     }
 
-    private static Message message(ByteBuffer b) {
-        int kind = b.get();
-        switch (kind) {
-            case 1, 2 -> {
-                long number = b.getLong();
-                String target = name(b);
-                return target == null
-                        ? null
-                        : kind == 1 ? new Message.Ping(number, target) : new Message.PingFor(number, target);
-            }
-            case 3 -> {
-                return new Message.Ack(b.getLong());
-            }
-            case 4 -> {
-                return new Message.Nack(b.getLong());
-            }
-            case 5 -> {
-                return new Message.News();
-            }
-            case 6, 7 -> {
-                return new Message.State(kind == 7);
-            }
-            default -> {
-                return null;
-            }
+    private static Message message(ByteBuffer in) {
+        byte kind = in.get();
+        return switch (kind) {
+            case PING -> new Message.Ping(in.getLong(), name(in));
+            case PING_REQUEST -> new Message.PingRequest(in.getLong(), name(in));
+            case ACK -> new Message.Ack(in.getLong());
+            case NACK -> new Message.Nack(in.getLong());
+            case GOSSIP -> new Message.Gossip();
+            case FULL_STATE -> new Message.FullState(false);
+            case FULL_STATE_REPLY -> new Message.FullState(true);
+            default -> throw new MalformedPacketException();
+        };
+    }
+
+    private static List<MembershipUpdate> updates(ByteBuffer in) {
+        int count = count(in);
+        List<MembershipUpdate> updates = new ArrayList<>(Math.min(count, MAX_INITIAL_CAPACITY));
+        for (int i = 0; i < count; i++) {
+            updates.add(update(in));
         }
+        return updates;
     }
 
-    private static SignedReport claim(ByteBuffer b) {
-        String reporter = name(b);
-        long incarnation = b.getLong(), number = b.getLong(), destination = b.getLong();
-        int state = b.get(), wait = b.getInt(), calls = b.getInt(), failures = b.getInt(), window = b.getInt();
-        long wall = b.getLong();
-        int key = b.getInt();
-        byte[] seal = new byte[SignedReport.SEAL];
-        b.get(seal);
-        if (reporter == null
-                || state < 0
-                || state > 2
-                || wait < 0
-                || calls < 0
-                || failures < 0
-                || failures > calls
-                || window < 0) {
-            return null;
+    private static MembershipUpdate update(ByteBuffer in) {
+        String member = name(in);
+        String address = address(in);
+        MemberState state = MemberState.fromWireCode(in.get());
+        long incarnation = in.getLong();
+        if (incarnation < 0 || incarnation > MAX_INCARNATION) {
+            throw new MalformedPacketException();
         }
-        return new SignedReport(
-                new HealthReport(
-                        reporter,
-                        incarnation,
-                        number,
-                        destination,
-                        HealthReport.State.values()[state],
-                        wait,
-                        calls,
-                        failures,
-                        window),
-                wall,
-                key,
-                seal);
-    }
-
-    /** A text of up to 64 characters and its length before it. */
-    static void text(ByteBuffer b, String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
-        if (bytes.length > LONGEST) {
-            throw new BufferOverflowException();
+        return new MembershipUpdate(member, address, state, incarnation, name(in));
+    }
+
+    private static List<SignedReport> reports(ByteBuffer in) {
+        int count = count(in);
+        List<SignedReport> reports = new ArrayList<>(Math.min(count, MAX_INITIAL_CAPACITY));
+        for (int i = 0; i < count; i++) {
+            HealthReport report = report(in);
+            long reporterWallMs = in.getLong();
+            int keyId = in.getInt();
+            byte[] signature = new byte[SignedReport.SIGNATURE_BYTES];
+            in.get(signature);
+            reports.add(new SignedReport(report, reporterWallMs, keyId, signature));
+        }
+        return reports;
+    }
+
+    private static HealthReport report(ByteBuffer in) {
+        String reporter = name(in);
+        long incarnation = in.getLong();
+        long sequence = in.getLong();
+        long destination = in.getLong();
+        HealthReport.State state = HealthReport.State.fromWireCode(in.get());
+        int retryAfterMs = in.getInt();
+        int calls = in.getInt();
+        int failures = in.getInt();
+        int windowMs = in.getInt();
+        if (!HealthReport.isPlausible(retryAfterMs, calls, failures, windowMs)) {
+            throw new MalformedPacketException();
         }
-        b.put((byte) bytes.length).put(bytes);
+        return new HealthReport(
+                reporter, incarnation, sequence, destination, state, retryAfterMs, calls, failures, windowMs);
     }
 
-    static String name(ByteBuffer b) {
-        String text = text(b);
-        return text != null && isName(text) ? text : null;
+    private static int count(ByteBuffer in) {
+        int count = in.getShort();
+        if (count < 0 || count > MAX_COUNT) {
+            throw new MalformedPacketException();
+        }
+        return count;
     }
 
-    /** Whether that may be a member's name. */
-    public static boolean isName(String text) {
-        return !text.isEmpty()
-                && text.length() <= LONGEST
-                && text.chars()
-                        .allMatch(c -> (c >= 'a' && c <= 'z')
-                                || (c >= 'A' && c <= 'Z')
-                                || (c >= '0' && c <= '9')
-                                || c == '.'
-                                || c == '_'
-                                || c == '-');
+    private static String name(ByteBuffer in) {
+        String text = text(in);
+        if (!MemberNames.isValid(text)) {
+            throw new MalformedPacketException();
+        }
+        return text;
     }
 
-    private static String address(ByteBuffer b) {
-        String text = text(b);
-        return text != null && !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127) ? text : null;
+    private static String address(ByteBuffer in) {
+        String text = text(in);
+        if (text.isEmpty()) {
+            throw new MalformedPacketException();
+        }
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c <= ' ' || c > '~') {
+                throw new MalformedPacketException();
+            }
+        }
+        return text;
     }
 
-    private static String text(ByteBuffer b) {
-        int length = b.get();
-        if (length < 0 || length > LONGEST) {
-            return null;
+    private static String text(ByteBuffer in) {
+        int length = in.get();
+        if (length < 0 || length > MAX_TEXT_LENGTH) {
+            throw new MalformedPacketException();
         }
         byte[] bytes = new byte[length];
-        b.get(bytes);
+        in.get(bytes);
         return new String(bytes, StandardCharsets.ISO_8859_1);
     }
 }
--- a/src/main/java/elderseam/gossip/PeerVerifier.java
+++ b/src/main/java/elderseam/gossip/PeerVerifier.java
@@ -1,16 +1,16 @@
 package elderseam.gossip;
 
-/** What an instance needs to know of keys: who may speak, and whether they did. */
+/** The keys and addresses of the members, as far as {@link GossipAgent} needs them: signing and verifying health reports. */
 public interface PeerVerifier {
-    /** This instance's key, as others know it; {@link #seal} uses it. */
-    int key();
+    /** Returns the id of this member's key, by which others find it; {@link #sign} uses that key. */
+    int keyId();
 
-    /** A seal of 64 bytes over those. */
-    byte[] seal(byte[] bytes);
+    /** Returns this member's signature over the bytes: {@link SignedReport#SIGNATURE_BYTES} bytes. */
+    byte[] sign(byte[] bytes);
 
-    /** Whether that member's key made the seal; false too of one that is not on the roster, or has no such key. */
-    boolean genuine(String name, int key, byte[] bytes, byte[] seal);
+    /** Whether that key of the member made the signature; false also for an unknown member or key. */
+    boolean isSignatureValid(String member, int keyId, byte[] bytes, byte[] signature);
 
-    /** Whether that member is on the roster, and may be at that address ({@code ADDRESS:PORT}). */
-    boolean mayBeAt(String name, String address);
+    /** Whether the member is known and may use that address, {@code ADDRESS:PORT}. */
+    boolean isAddressAllowed(String member, String address);
 }
--- a/src/main/java/elderseam/gossip/PiggybackQueue.java
+++ b/src/main/java/elderseam/gossip/PiggybackQueue.java
@@ -10,96 +10,110 @@
 import java.util.function.ToIntFunction;
 
 /**
- * What travels along with other messages: for each subject the newest thing to say, a bounded number of times; what was said
- * least goes first, of those the weightiest, then the newest. Bounded by the number of subjects, {@code most}: beyond it what was said most often
- * gives way.
+ * What is to be piggybacked on other messages (SWIM, section 4.1): for each subject the newest content, sent a bounded number
+ * of times. Content that was sent least often goes first; of that, the one of the highest priority, then the newest. If the
+ * queue is full, a new subject displaces the last in this order.
  */
 final class PiggybackQueue<T> {
-    private static final int LEAST = 24; // bytes: nothing that travels along is shorter
+    /** No content is smaller, in bytes: with less room the search ends. */
+    private static final int MIN_CONTENT_BYTES = 24;
 
     private static final class Entry<T> {
         final String subject;
-        T what;
-        int said, weight;
-        long age;
+        T content;
+        int sendCount;
+        int priority;
+        long insertion; // rises, so no two entries are equal in the order
 
         Entry(String subject) {
             this.subject = subject;
         }
     }
 
-    private final int most;
-    private final ToIntFunction<T> size;
-    private final Map<String, Entry<T>> entries = new HashMap<>();
-    /** Next to be said first; no two have one age. */
-    private final TreeSet<Entry<T>> order = new TreeSet<>(Comparator.<Entry<T>>comparingInt(e -> e.said)
-            .thenComparingInt(e -> -e.weight)
-            .thenComparingLong(e -> -e.age));
+    private final int maxSubjects;
+    private final ToIntFunction<T> sizeInBytes;
+    private final Map<String, Entry<T>> bySubject = new HashMap<>();
+    private final TreeSet<Entry<T>> sendOrder =
+            new TreeSet<>(Comparator.<Entry<T>>comparingInt(entry -> entry.sendCount)
+                    .thenComparingInt(entry -> -entry.priority)
+                    .thenComparingLong(entry -> -entry.insertion));
 
-    private long clock;
+    private long nextInsertion;
 
-    PiggybackQueue(int most, ToIntFunction<T> size) {
-        this.most = most;
-        this.size = size;
+    PiggybackQueue(int maxSubjects, ToIntFunction<T> sizeInBytes) {
+        this.maxSubjects = maxSubjects;
+        this.sizeInBytes = sizeInBytes;
     }
 
-    /** Says this of that subject from now on, anew. */
-    void say(String subject, T what) {
-        say(subject, what, 0);
+    /** Replaces what is sent on the subject, and begins to count anew; priority 0. */
+    void put(String subject, T content) {
+        put(subject, content, 0);
     }
 
-    /** The same; of what was said as often, what has more weight goes first. */
-    void say(String subject, T what, int weight) {
-        Entry<T> e = entries.get(subject);
-        if (e == null) {
-            if (entries.size() >= most) {
-                entries.remove(order.pollLast().subject);
-            }
-            e = new Entry<>(subject);
-            entries.put(subject, e);
+    /** Replaces what is sent on the subject, and begins to count anew. */
+    void put(String subject, T content, int priority) {
+        Entry<T> entry = bySubject.get(subject);
+        if (entry == null) {
+            entry = insert(subject);
         } else {
-            order.remove(e);
+            sendOrder.remove(entry);
         }
-        e.what = what;
-        e.said = 0;
-        e.weight = weight;
-        e.age = clock++;
-        order.add(e);
+        entry.content = content;
+        entry.sendCount = 0;
+        entry.priority = priority;
+        entry.insertion = nextInsertion++;
+        sendOrder.add(entry);
     }
 
-    /** What fits into so many bytes; each counts as said, and is forgotten after {@code times}. */
-    List<T> take(int bytes, int times) {
-        List<Entry<T>> said = new ArrayList<>();
-        int left = bytes;
-        for (Iterator<Entry<T>> i = order.iterator(); i.hasNext() && left >= LEAST; ) {
-            Entry<T> e = i.next();
-            int n = size.applyAsInt(e.what);
-            if (n <= left) {
-                left -= n;
-                said.add(e);
-                i.remove();
-            }
+    private Entry<T> insert(String subject) {
+        if (bySubject.size() >= maxSubjects) {
+            bySubject.remove(sendOrder.pollLast().subject);
         }
-        List<T> taken = new ArrayList<>(said.size());
-        for (Entry<T> e : said) {
-            taken.add(e.what);
-            if (++e.said >= times) {
-                entries.remove(e.subject);
+        Entry<T> entry = new Entry<>(subject);
+        bySubject.put(subject, entry);
+        return entry;
+    }
+
+    /** Returns what fits into so many bytes, and counts it as sent; what was sent {@code maxSends} times is removed. */
+    List<T> take(int maxBytes, int maxSends) {
+        List<Entry<T>> fitting = removeFitting(maxBytes);
+        List<T> contents = new ArrayList<>(fitting.size());
+        for (Entry<T> entry : fitting) {
+            contents.add(entry.content);
+            entry.sendCount++;
+            if (entry.sendCount >= maxSends) {
+                bySubject.remove(entry.subject);
             } else {
-                order.add(e);
+                sendOrder.add(entry);
+            }
+        }
+        return contents;
+    }
+
+    private List<Entry<T>> removeFitting(int maxBytes) {
+        List<Entry<T>> fitting = new ArrayList<>();
+        int bytesLeft = maxBytes;
+        Iterator<Entry<T>> entries = sendOrder.iterator();
+        while (entries.hasNext() && bytesLeft >= MIN_CONTENT_BYTES) {
+            Entry<T> entry = entries.next();
+            int size = sizeInBytes.applyAsInt(entry.content);
+            if (size <= bytesLeft) {
+                bytesLeft -= size;
+                fitting.add(entry);
+                entries.remove();
             }
         }
-        return taken;
+        return fitting;
     }
 
-    void forget(String subject) {
-        Entry<T> e = entries.remove(subject);
-        if (e != null) {
-            order.remove(e);
+    void remove(String subject) {
+        Entry<T> entry = bySubject.remove(subject);
+        if (entry != null) {
+            sendOrder.remove(entry);
         }
     }
 
-    int subjects() {
-        return entries.size();
+    boolean isEmpty() {
+        return bySubject.isEmpty();
     }
 }
--- a/src/main/java/elderseam/gossip/SendRateLimiter.java
+++ b/src/main/java/elderseam/gossip/SendRateLimiter.java
@@ -1,40 +1,42 @@
 package elderseam.gossip;
 
 /**
- * The most that this member sends, whatever the fleet's size: two token buckets, of bytes and of datagrams, each a second's
- * worth deep. One thread owns it.
+ * Limits what this member sends, whatever the size of the fleet: two token buckets, of bytes and of datagrams, each with a
+ * capacity of one second's worth. One thread owns it.
  */
 public final class SendRateLimiter {
-    private final TokenBucket bytes, datagrams;
-    private long refused;
+    private final TokenBucket bytes;
+    private final TokenBucket datagrams;
+    private long refusedCount;
 
-    public SendRateLimiter(double bytesPerS, double datagramsPerS, long now) {
-        this.bytes = new TokenBucket(bytesPerS, bytesPerS, now);
-        this.datagrams = new TokenBucket(datagramsPerS, datagramsPerS, now);
+    /** Starts with full buckets. */
+    public SendRateLimiter(double bytesPerSecond, double datagramsPerSecond, long nowNs) {
+        this.bytes = new TokenBucket(bytesPerSecond, bytesPerSecond, nowNs);
+        this.datagrams = new TokenBucket(datagramsPerSecond, datagramsPerSecond, nowNs);
     }
 
-    /** Bytes that one datagram may have now, 0 where none may leave. */
-    public int room(long now) {
-        return datagrams.level(now) < 1 ? 0 : (int) Math.min(Integer.MAX_VALUE, bytes.level(now));
+    /** Returns how many bytes a datagram may have now; 0 if none may be sent. */
+    public int availableBytes(long nowNs) {
+        return datagrams.available(nowNs) < 1 ? 0 : (int) Math.min(Integer.MAX_VALUE, bytes.available(nowNs));
     }
 
-    /** Takes one datagram of so many bytes; false, and counted, where it may not leave. */
-    public boolean take(int size, long now) {
-        if (room(now) < size) {
-            refused++;
+    /** Whether a datagram of that size may be sent now; it is then charged, and counted as refused otherwise. */
+    public boolean tryAcquire(int size, long nowNs) {
+        if (availableBytes(nowNs) < size) {
+            refusedCount++;
             return false;
         }
-        return bytes.take(size, now) && datagrams.take(1, now);
+        return bytes.tryTake(size, nowNs) && datagrams.tryTake(1, nowNs);
     }
 
-    /** Other limits from now on. */
-    public void set(double bytesPerS, double datagramsPerS, long now) {
-        bytes.set(bytesPerS, bytesPerS, now);
-        datagrams.set(datagramsPerS, datagramsPerS, now);
+    /** Changes the limits from now on. */
+    public void setLimits(double bytesPerSecond, double datagramsPerSecond, long nowNs) {
+        bytes.setLimits(bytesPerSecond, bytesPerSecond, nowNs);
+        datagrams.setLimits(datagramsPerSecond, datagramsPerSecond, nowNs);
     }
 
-    /** Datagrams that did not leave. */
-    public long refused() {
-        return refused;
+    /** Returns how many datagrams were refused so far. */
+    public long refusedCount() {
+        return refusedCount;
     }
 }
--- a/src/main/java/elderseam/gossip/SignedReport.java
+++ b/src/main/java/elderseam/gossip/SignedReport.java
@@ -1,18 +1,27 @@
 package elderseam.gossip;
 
 /**
- * A claim with its reporter's word for it, as it travels.
+ * A health report with its reporter's signature, as it travels; members that pass it on can't change it.
  *
- * @param wallMs the reporter's wall clock when it was issued; who holds it knows how far that clock is off
- * @param key which of the reporter's keys sealed it
- * @param seal over all else; who passes it on can't change it
+ * @param reporterWallMs the reporter's wall clock in milliseconds when it signed; the receiver corrects it by that clock's
+ *     offset
+ * @param keyId which of the reporter's keys signed
+ * @param signature over all other fields, as {@link PacketCodec#signedBytes} writes them
  */
-public record SignedReport(HealthReport claim, long wallMs, int key, byte[] seal) {
-    static final int SEAL = 64; // bytes of an Ed25519 signature (RFC 8032, section 5.1.6)
-    private static final int FIXED = 1 + 8 + 8 + 8 + 1 + 4 + 4 + 4 + 4 + 8 + 4 + SEAL;
+public record SignedReport(HealthReport report, long reporterWallMs, int keyId, byte[] signature) {
+    /** Length of an Ed25519 signature (RFC 8032, section 5.1.6). */
+    public static final int SIGNATURE_BYTES = 64;
 
-    /** Bytes on the wire. */
-    public int bytes() {
-        return FIXED + claim.reporter().length();
+    private static final int FIXED_BYTES = 1 // length of the reporter's name
+            + 3 * Long.BYTES // incarnation, sequence, destination
+            + 1 // state
+            + 4 * Integer.BYTES // Retry-After, calls, failures, window
+            + Long.BYTES // wall clock
+            + Integer.BYTES // key id
+            + SIGNATURE_BYTES;
+
+    /** Returns the bytes of the encoded report. */
+    public int encodedBytes() {
+        return FIXED_BYTES + report.reporter().length();
     }
 }
--- a/src/main/java/elderseam/gossip/TokenBucket.java
+++ b/src/main/java/elderseam/gossip/TokenBucket.java
@@ -1,41 +1,46 @@
 package elderseam.gossip;
 
-/** A token bucket: so much a second, at most {@code depth} at once. One thread owns it. */
+/** A token bucket: refilled at a constant rate up to its capacity, full at the start. One thread owns it. */
 public final class TokenBucket {
-    private double rate, depth, level;
-    private long at;
+    private static final double NS_PER_SECOND = 1e9;
 
-    public TokenBucket(double rate, double depth, long now) {
-        if (rate <= 0 || depth <= 0) {
-            throw new IllegalArgumentException("a bucket's rate and depth are above 0");
+    private double tokensPerSecond;
+    private double capacity;
+    private double tokens;
+    private long refilledAtNs;
+
+    /** @throws IllegalArgumentException unless rate and capacity are above 0 */
+    public TokenBucket(double tokensPerSecond, double capacity, long nowNs) {
+        if (tokensPerSecond <= 0 || capacity <= 0) {
+            throw new IllegalArgumentException("a token bucket's rate and capacity must be above 0");
         }
-        this.rate = rate;
-        this.depth = depth;
-        this.level = depth;
-        this.at = now;
+        this.tokensPerSecond = tokensPerSecond;
+        this.capacity = capacity;
+        this.tokens = capacity;
+        this.refilledAtNs = nowNs;
     }
 
-    /** What it holds now. */
-    public double level(long now) {
-        level = Math.min(depth, level + Math.max(0, now - at) / 1e9 * rate);
-        at = Math.max(at, now);
-        return level;
+    /** Refills the bucket, and returns the tokens in it now. */
+    public double available(long nowNs) {
+        tokens = Math.min(capacity, tokens + Math.max(0, nowNs - refilledAtNs) / NS_PER_SECOND * tokensPerSecond);
+        refilledAtNs = Math.max(refilledAtNs, nowNs);
+        return tokens;
     }
 
-    /** Takes so much, or nothing. */
-    public boolean take(double much, long now) {
-        if (level(now) < much) {
+    /** Takes so many tokens, or none if there are fewer; whether it took them. */
+    public boolean tryTake(double count, long nowNs) {
+        if (available(nowNs) < count) {
             return false;
         }
-        level -= much;
+        tokens -= count;
         return true;
     }
 
-    /** Another rate and depth from now on; what it holds beyond the new depth is gone. */
-    void set(double newRate, double newDepth, long now) {
-        level(now);
-        rate = newRate;
-        depth = newDepth;
-        level = Math.min(level, depth);
+    /** Changes rate and capacity from now on; tokens above the new capacity are lost. */
+    void setLimits(double newTokensPerSecond, double newCapacity, long nowNs) {
+        available(nowNs);
+        tokensPerSecond = newTokensPerSecond;
+        capacity = newCapacity;
+        tokens = Math.min(tokens, capacity);
     }
 }
--- a/src/main/java/elderseam/gossip/security/Keyring.java
+++ b/src/main/java/elderseam/gossip/security/Keyring.java
@@ -1,64 +1,55 @@
 package elderseam.gossip.security;
 
 import elderseam.gossip.PeerVerifier;
-import inet.ipaddr.AddressStringException;
 import inet.ipaddr.IPAddress;
-import inet.ipaddr.IPAddressString;
 import java.security.PublicKey;
+import java.util.Optional;
 
-/** This instance's key, and the roster as it is now. */
+/** This member's own key, and the roster that is in force. One thread owns it. */
 public final class Keyring implements PeerVerifier {
-    private final KeyFile own;
+    private final KeyFile ownKey;
     private Roster roster;
 
-    public Keyring(KeyFile own, Roster roster) {
-        this.own = own;
+    /** Starts with that roster. */
+    public Keyring(KeyFile ownKey, Roster roster) {
+        this.ownKey = ownKey;
         this.roster = roster;
     }
 
+    /** Returns the roster that is in force. */
     public Roster roster() {
         return roster;
     }
 
-    /** Another roster from now on. */
-    public void roster(Roster fresh) {
-        roster = fresh;
+    /** Replaces the roster from now on. */
+    public void setRoster(Roster newRoster) {
+        roster = newRoster;
     }
 
     @Override
-    public int key() {
-        return own.number();
+    public int keyId() {
+        return ownKey.keyId();
     }
 
     @Override
-    public byte[] seal(byte[] bytes) {
-        return Ed25519.sign(own.secret, bytes);
+    public byte[] sign(byte[] bytes) {
+        return ownKey.sign(bytes);
     }
 
     @Override
-    public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
-        Roster.Entry e = roster.get(name);
-        PublicKey k = e == null ? null : e.key(key);
-        return k != null && Ed25519.verify(k, bytes, bytes.length, seal);
+    public boolean isSignatureValid(String member, int keyId, byte[] bytes, byte[] signature) {
+        Roster.Entry entry = roster.get(member);
+        PublicKey key = entry == null ? null : entry.findKey(keyId);
+        return key != null && Ed25519.verify(key, bytes, bytes.length, signature);
     }
 
     @Override
-    public boolean mayBeAt(String name, String address) {
-        Roster.Entry e = roster.get(name);
-        int colon = address.lastIndexOf(':');
-        if (e == null || colon < 1 || !address.substring(colon + 1).matches("\\d{1,5}")) {
-            return false;
-        }
-        String host = address.substring(0, colon);
-        host = host.startsWith("[") && host.endsWith("]") ? host.substring(1, host.length() - 1) : host;
-        if (!host.matches("[0-9a-fA-F.:]+")) { // a name would be looked up
-            return false;
-        }
-        try {
-            IPAddress a = new IPAddressString(host).toAddress();
-            return e.mayBeAt(a);
-        } catch (AddressStringException | RuntimeException x) {
+    public boolean isAddressAllowed(String member, String address) {
+        Roster.Entry entry = roster.get(member);
+        if (entry == null) {
             return false;
         }
+        Optional<IPAddress> host = AddressRanges.parseHost(address);
+        return host.isPresent() && entry.isAddressAllowed(host.get());
     }
 }
--- a/src/main/java/elderseam/gossip/security/package-info.java
+++ b/src/main/java/elderseam/gossip/security/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Who may speak to an instance, and how it knows that they did: the roster of keys and addresses, this instance's own key, and
- * the door that opens or drops each datagram. Files are read here, no socket is; time and randomness come in as arguments.
- * Knows {@link elderseam.gossip} and its bytes, and the settings' way to tell faults.
+ * Authentication of gossip: the roster of members' keys and addresses ({@link elderseam.gossip.security.Roster}), this
+ * member's own key ({@link elderseam.gossip.security.KeyFile}), and the signed envelopes of packets ({@link
+ * elderseam.gossip.security.PacketAuthenticator}). Reads files, but opens no socket; time and randomness are arguments.
  */
 package elderseam.gossip.security;
--- a/src/main/java/elderseam/gossip/transport/DatagramTransport.java
+++ b/src/main/java/elderseam/gossip/transport/DatagramTransport.java
@@ -5,78 +5,92 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
 import org.xnio.OptionMap;
 import org.xnio.channels.MulticastMessageChannel;
 import org.xnio.channels.SocketAddressBuffer;
 
 /**
- * The datagram socket. A pass over the sockets reads 32 at most, so that a flood leaves the thread to the others, and a second
- * 4,000: above that it is not looked at for a while, and the kernel drops what does not fit its buffer.
+ * The datagram socket. One pass over the sockets reads 32 datagrams at most, so that a flood leaves the thread to others, and a
+ * second 4,000: above that the socket is not read for a while, and the kernel drops what exceeds its buffer. Confined to the
+ * I/O thread.
  */
 final class DatagramTransport implements AutoCloseable {
-    /** What arrives; the bytes are lent for the call. */
-    interface Reader {
-        void read(InetSocketAddress from, byte[] bytes, int length);
+    /** Receives the datagrams. */
+    interface Handler {
+        /** A datagram arrived; {@code bytes} is reused after the call. */
+        void received(InetSocketAddress from, byte[] bytes, int length);
     }
 
-    private static final int A_PASS = 32, A_SECOND = 4_000, LONGEST = 2_048;
-    private static final long REST_NS = 20_000_000L;
+    private static final int MAX_READS_PER_PASS = 32;
+    private static final double MAX_READS_PER_SECOND = 4_000;
+    private static final double MAX_READ_BURST = MAX_READS_PER_SECOND / 4;
+    /** A longer datagram is cut, and so over the limit of those that are opened. */
+    private static final int BUFFER_BYTES = 2_048;
+
+    private static final long READ_PAUSE_NS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final IoLoop io;
     private final MulticastMessageChannel channel;
-    private final Reader reader;
-    private final TokenBucket pace;
-    private final ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
-    private final SocketAddressBuffer address = new SocketAddressBuffer();
-    private long rests;
+    private final Handler handler;
+    private final TokenBucket readLimit;
+    private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+    private final SocketAddressBuffer addresses = new SocketAddressBuffer();
+    private long readPauses;
 
-    DatagramTransport(IoLoop io, InetSocketAddress at, Reader reader) throws IOException {
+    /** Binds the socket, and begins to read. */
+    DatagramTransport(IoLoop io, InetSocketAddress listenAddress, Handler handler) throws IOException {
         this.io = io;
-        this.reader = reader;
-        this.pace = new TokenBucket(A_SECOND, A_SECOND / 4.0, io.clock.now());
-        this.channel =
-                io.worker().createUdpServer(at, (ChannelListener<MulticastMessageChannel>) null, OptionMap.EMPTY);
-        channel.getReadSetter().set(this::readable);
+        this.handler = handler;
+        this.readLimit = new TokenBucket(MAX_READS_PER_SECOND, MAX_READ_BURST, io.clock.now());
+        ChannelListener<MulticastMessageChannel> noListener = null;
+        this.channel = io.worker().createUdpServer(listenAddress, noListener, OptionMap.EMPTY);
+        channel.getReadSetter().set(readable -> readPass());
         channel.resumeReads();
     }
 
-    InetSocketAddress local() {
+    InetSocketAddress localAddress() {
         return channel.getLocalAddress(InetSocketAddress.class);
     }
 
-    private void readable(MulticastMessageChannel from) {
+    private void readPass() {
         try {
-            for (int i = 0; i < A_PASS; i++) {
-                if (!pace.take(1, io.clock.now())) {
-                    rests++;
-                    channel.suspendReads();
-                    io.at(io.clock.now() + REST_NS, channel::resumeReads);
+            for (int i = 0; i < MAX_READS_PER_PASS; i++) {
+                if (!readLimit.tryTake(1, io.clock.now())) {
+                    pauseReads();
                     return;
                 }
                 buffer.clear();
-                if (channel.receiveFrom(address, buffer) <= 0) { // an empty datagram ends the pass, and no more
+                if (channel.receiveFrom(addresses, buffer) <= 0) { // nothing, or an empty datagram
                     return;
                 }
-                reader.read(address.getSourceAddress(InetSocketAddress.class), buffer.array(), buffer.position());
+                InetSocketAddress from = addresses.getSourceAddress(InetSocketAddress.class);
+                handler.received(from, buffer.array(), buffer.position());
             }
         } catch (IOException e) {
             // such as an ICMP error for an earlier datagram
         }
     }
 
-    /** Sends one; what the kernel does not take at once is lost, as datagrams may be. */
+    private void pauseReads() {
+        readPauses++;
+        channel.suspendReads();
+        io.at(io.clock.now() + READ_PAUSE_NS, channel::resumeReads);
+    }
+
+    /** Sends a datagram, or loses it if the kernel does not take it at once. */
     void send(InetSocketAddress to, byte[] bytes) {
         try {
             channel.sendTo(to, ByteBuffer.wrap(bytes));
         } catch (IOException | RuntimeException e) {
-            // no route, a port of 0: lost, as datagrams may be
+            // no route, or (unchecked) an address that can't be sent to, such as port 0: lost, as datagrams may be
         }
     }
 
-    /** How often it was not looked at for a while. */
-    long rests() {
-        return rests;
+    /** Returns how often reading was paused because of the rate. */
+    long readPauses() {
+        return readPauses;
     }
 
     @Override
@@ -84,7 +98,7 @@
         try {
             channel.close();
         } catch (IOException e) {
-            // nothing is read from it any more
+            // it is not used any more
         }
     }
 }
--- a/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
+++ b/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
@@ -9,30 +9,50 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
-/** What an instance needs to begin, read from the operator's settings and the files that they name, and checked against each other. */
-public record GossipConfiguration(GossipTransport.Place place, KeyFile key, Keyring keys) {
-    public static GossipConfiguration read(Settings s) throws IOException {
-        KeyFile key = KeyFile.read(Path.of(s.get(SettingKeys.GOSSIP_KEY_FILE)));
-        GossipTransport.Place place = new GossipTransport.Place(
-                s.get(SettingKeys.GOSSIP_NAME),
-                GossipTransport.address(s.get(SettingKeys.GOSSIP_LISTEN)),
-                s.get(SettingKeys.GOSSIP_ADVERTISE),
-                s.get(SettingKeys.GOSSIP_SEEDS),
-                s.get(SettingKeys.GOSSIP_BYTES),
-                s.get(SettingKeys.GOSSIP_DATAGRAMS));
-        return new GossipConfiguration(place, key, new Keyring(key, roster(s, place.name(), key)));
+/** What a member needs to start, from the settings and the files that they name; checked against each other. */
+public record GossipConfiguration(TransportSettings transport, KeyFile key, Keyring keyring) {
+    /**
+     * Reads the key file and the roster that the settings name.
+     *
+     * @throws SettingsFault with what is wrong in them
+     * @throws IOException if a file can't be read
+     */
+    public static GossipConfiguration read(Settings settings) throws IOException {
+        KeyFile key = KeyFile.read(Path.of(settings.get(SettingKeys.GOSSIP_KEY_FILE)));
+        TransportSettings transport = new TransportSettings(
+                settings.get(SettingKeys.GOSSIP_NAME),
+                MemberAddresses.parse(settings.get(SettingKeys.GOSSIP_LISTEN)),
+                settings.get(SettingKeys.GOSSIP_ADVERTISE),
+                settings.get(SettingKeys.GOSSIP_SEEDS),
+                settings.get(SettingKeys.GOSSIP_BYTES),
+                settings.get(SettingKeys.GOSSIP_DATAGRAMS));
+        Roster roster = readRoster(settings, transport.name(), key);
+        return new GossipConfiguration(transport, key, new Keyring(key, roster));
     }
 
-    /** A roster that holds this instance, with the key that it has. */
-    public static Roster roster(Settings s, String name, KeyFile key) throws IOException {
-        Path file = Path.of(s.get(SettingKeys.GOSSIP_ROSTER));
+    /**
+     * Reads the roster that the settings name.
+     *
+     * @throws SettingsFault if it is faulty, or does not have this member with its key
+     * @throws IOException if it can't be read
+     */
+    public static Roster readRoster(Settings settings, String self, KeyFile key) throws IOException {
+        Path file = Path.of(settings.get(SettingKeys.GOSSIP_ROSTER));
         Roster roster = Roster.read(file);
-        Roster.Entry self = roster.get(name);
-        if (self == null || !self.texts().contains(key.text())) {
-            throw new SettingsFault(List.of(file + ": " + name + ": " + (self == null ? "not there" : "another key")
-                    + ", allowed: a line for this instance with the key of gossip.key_file"));
+        Optional<Roster.Entry> entry = roster.find(self);
+        if (entry.isEmpty()) {
+            throw selfFault(file, self, "not there");
+        }
+        if (!entry.get().keyTexts().contains(key.publicKeyText())) {
+            throw selfFault(file, self, "another key");
         }
         return roster;
     }
+
+    private static SettingsFault selfFault(Path file, String self, String description) {
+        return new SettingsFault(List.of(file + ": " + self + ": " + description
+                + ", allowed: a line for this instance with the key of gossip.key_file"));
+    }
 }
--- a/src/main/java/elderseam/gossip/transport/GossipTransport.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -1,14 +1,20 @@
 package elderseam.gossip.transport;
 
+import elderseam.gossip.Advice;
+import elderseam.gossip.DropReason;
 import elderseam.gossip.GossipAgent;
 import elderseam.gossip.GossipTimings;
 import elderseam.gossip.HealthReport;
+import elderseam.gossip.LocalMember;
 import elderseam.gossip.MemberState;
 import elderseam.gossip.MembershipUpdate;
+import elderseam.gossip.OwnBreaker;
 import elderseam.gossip.Packet;
 import elderseam.gossip.PacketCodec;
 import elderseam.gossip.SendRateLimiter;
+import elderseam.gossip.security.EnvelopeDropReason;
 import elderseam.gossip.security.Keyring;
+import elderseam.gossip.security.OpenResult;
 import elderseam.gossip.security.PacketAuthenticator;
 import elderseam.gossip.security.Roster;
 import elderseam.http.IoLoop;
@@ -19,260 +25,298 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
- * One instance on its sockets: what comes goes through the door to the agent, what the agent sends through the door to the
- * sockets; four times a second the agent looks at the own breakers. Owned by the I/O thread.
+ * One member on its sockets: passes what arrives through the {@link PacketAuthenticator} to the {@link GossipAgent}, and signs
+ * and sends what the agent has to send. Four times a second the agent looks at the own circuit breakers. Confined to the I/O
+ * thread.
  */
 public final class GossipTransport {
-    /** Where and as whom it speaks. {@code advertise}: the address that others are told, empty for the one it listens on. */
-    public record Place(
-            String name,
-            InetSocketAddress listen,
-            String advertise,
-            List<String> seeds,
-            double bytesPerS,
-            double datagramsPerS) {}
+    /**
+     * What the transport needs of its owner; called on the I/O thread.
+     *
+     * @param ownBreakers this member's own circuit breakers
+     * @param advice gets what the others' reports of a destination amount to
+     * @param log gets lines for the operator
+     */
+    public record Callbacks(
+            Supplier<List<OwnBreaker>> ownBreakers, BiConsumer<Long, Advice> advice, Consumer<String> log) {}
 
-    /** What it needs of the rest: the own breakers, who is told what others say, and where words for the operator go. */
-    public record Ties(
-            Supplier<List<GossipAgent.Own>> own, BiConsumer<Long, GossipAgent.Word> advise, Consumer<String> log) {}
-
-    private static final long LOOK_NS = 250_000_000L, COUNTS_NS = 60_000_000_000L;
+    private static final long REPORT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long COUNTS_INTERVAL_NS = TimeUnit.SECONDS.toNanos(60);
 
     private final IoLoop io;
-    private final Ties ties;
-    private final Keyring keys;
-    private final PacketAuthenticator door;
+    private final Callbacks callbacks;
+    private final Keyring keyring;
+    private final PacketAuthenticator authenticator;
     private final DatagramTransport datagrams;
-    private final StreamTransport exchanges;
+    private final StreamTransport streams;
     private final GossipAgent agent;
-    private final Map<String, byte[]> vain = new HashMap<>(); // the last body to each whose token is not known yet
-    private final Map<String, MemberState> told = new HashMap<>(); // by name of the roster
-    private long tickAt = Long.MAX_VALUE, countsAt, suspicions;
-    private String counts = "";
-    private boolean closed;
-
-    /** Binds both sockets, and begins; a port of 0 takes one that is free for both. */
-    public GossipTransport(IoLoop io, Place place, Keyring keys, GossipTimings tempo, Ties ties) throws IOException {
+    /** By member, the last body that was sent in vain, because its token is not known yet. */
+    private final Map<String, byte[]> unopenedBodies = new HashMap<>();
+
+    private final Map<String, MemberState> loggedStates = new HashMap<>();
+    private long scheduledTickNs = Long.MAX_VALUE;
+    private long nextCountsNs;
+    private long suspicions;
+    private String loggedCounts = "";
+    private boolean isClosed;
+
+    /**
+     * Binds both sockets, and starts. With port 0 it takes one that is free for both.
+     *
+     * @throws IOException if the address can't be used
+     */
+    public GossipTransport(
+            IoLoop io, TransportSettings settings, Keyring keyring, GossipTimings timings, Callbacks callbacks)
+            throws IOException {
         this.io = io;
-        this.ties = ties;
-        this.keys = keys;
-        SecureRandom secure = new SecureRandom();
-        long now = io.clock.now();
-        this.door = new PacketAuthenticator(place.name(), keys, secure, now);
-        this.exchanges = new StreamTransport(io, place.listen(), this::read);
-        this.datagrams = new DatagramTransport(io, exchanges.local(), this::read);
-        String address = place.advertise().isEmpty() ? text(exchanges.local()) : place.advertise();
+        this.callbacks = callbacks;
+        this.keyring = keyring;
+        SecureRandom random = new SecureRandom();
+        long nowNs = io.clock.now();
+        this.authenticator = new PacketAuthenticator(settings.name(), keyring, random, nowNs);
+        this.streams = new StreamTransport(io, settings.listenAddress(), this::receive);
+        this.datagrams = new DatagramTransport(io, streams.localAddress(), this::receive);
+        LocalMember self = localMember(settings);
         this.agent = new GossipAgent(
-                place.name(),
-                address,
-                place.seeds(),
-                wallMs(),
-                tempo,
-                new SendRateLimiter(place.bytesPerS(), place.datagramsPerS(), now),
-                keys,
-                now,
-                new SplittableRandom(secure.nextLong()),
-                this::changed);
-        this.countsAt = now + COUNTS_NS;
-        ties.log().accept(place.name() + " at " + address);
+                self,
+                timings,
+                new SendRateLimiter(settings.maxBytesPerSecond(), settings.maxDatagramsPerSecond(), nowNs),
+                keyring,
+                nowNs,
+                new SplittableRandom(random.nextLong()),
+                this::stateChanged);
+        this.nextCountsNs = nowNs + COUNTS_INTERVAL_NS;
+        callbacks.log().accept(self.name() + " at " + self.address());
         flush();
-        look();
-    }
-
-    /** {@code ADDRESS:PORT} as others are told it. */
-    public static String text(InetSocketAddress a) {
-        String host = a.getAddress().getHostAddress();
-        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + a.getPort();
+        updateReports();
     }
 
-    /** Of a numeric {@code ADDRESS:PORT}, which needs no look-up. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(
-                text.substring(0, colon).replaceAll("[\\[\\]]", ""), Integer.parseInt(text.substring(colon + 1)));
+    private LocalMember localMember(TransportSettings settings) {
+        String address = settings.advertisedAddress().isEmpty()
+                ? MemberAddresses.format(streams.localAddress())
+                : settings.advertisedAddress();
+        return new LocalMember(settings.name(), address, settings.seeds(), wallMs());
     }
 
     private static long wallMs() {
         return System.currentTimeMillis();
     }
 
-    /** Suspicions come and go with lost datagrams, and are counted; a line is for who came and who went. */
-    private void changed(String name, MemberState standing) {
-        if (standing == MemberState.SUSPECT) {
+    /** Suspicions come and go with lost datagrams, so they are only counted; the other states are logged. */
+    private void stateChanged(String member, MemberState state) {
+        if (state == MemberState.SUSPECT) {
             suspicions++;
-        } else if (told.put(name, standing) != standing) {
-            ties.log().accept(name + " is " + standing);
+        } else if (loggedStates.put(member, state) != state) {
+            callbacks.log().accept(member + " is " + state);
         }
     }
 
-    // ---------------------------------------------------------------- time
+    // ---------------------------------------------------------------- sending and time
 
+    /** Sends what the agent has to send, and schedules its next tick. */
     private void flush() {
-        long now = io.clock.now();
-        if (closed) {
+        if (isClosed) {
             return;
         }
-        for (GossipAgent.Outgoing o : agent.sent(now)) {
-            send(o.to(), address(o.address()), o.bytes());
+        for (GossipAgent.Outgoing datagram : agent.drainDatagrams(io.clock.now())) {
+            send(datagram.to(), MemberAddresses.parse(datagram.address()), datagram.packet());
         }
-        for (String with : agent.syncs()) {
-            String name = agent.membership().nameAt(with);
-            byte[] body = PacketCodec.encode(agent.state(false, now), Packet.STATE);
-            exchanges.open(address(with), name, body, (to, b) -> door.seal(to, b, wallMs(), io.clock.now()));
+        for (String address : agent.drainStateExchanges()) {
+            exchangeState(address);
         }
-        long next = agent.nextAt();
-        if (next < tickAt) {
-            tickAt = next;
-            io.at(next, () -> {
-                if (tickAt == next) {
-                    tickAt = Long.MAX_VALUE;
-                }
-                agent.tick(io.clock.now());
-                flush();
-            });
+        scheduleTick();
+    }
+
+    private void send(String to, InetSocketAddress address, byte[] body) {
+        if (!authenticator.hasToken(to)) {
+            unopenedBodies.put(to, body);
         }
+        datagrams.send(address, seal(to, body));
     }
 
-    private void look() {
-        if (closed) {
-            return;
+    private byte[] seal(String to, byte[] body) {
+        return authenticator.seal(to, body, wallMs(), io.clock.now());
+    }
+
+    private void exchangeState(String address) {
+        String member = agent.membership().nameAt(address).orElse(PacketAuthenticator.UNKNOWN_MEMBER);
+        Packet state = agent.fullState(false, io.clock.now());
+        byte[] body = PacketCodec.encode(state, Packet.MAX_FULL_STATE_BYTES);
+        streams.connect(MemberAddresses.parse(address), body, () -> seal(member, body));
+    }
+
+    private void scheduleTick() {
+        long nextNs = agent.nextTickNs();
+        if (nextNs < scheduledTickNs) {
+            scheduledTickNs = nextNs;
+            io.at(nextNs, () -> tick(nextNs));
         }
-        long now = io.clock.now();
-        agent.look(ties.own().get(), ties.advise(), now, wallMs());
-        if (now >= countsAt) {
-            countsAt = now + COUNTS_NS;
-            String line = counts();
-            if (!line.equals(counts)) {
-                counts = line;
-                ties.log().accept(line);
-            }
+    }
+
+    private void tick(long scheduledNs) {
+        if (scheduledTickNs == scheduledNs) { // else an earlier tick is scheduled too
+            scheduledTickNs = Long.MAX_VALUE;
         }
-        io.at(now + LOOK_NS, this::look);
+        agent.tick(io.clock.now());
+        flush();
     }
 
-    // ---------------------------------------------------------------- datagrams
+    private void updateReports() {
+        if (isClosed) {
+            return;
+        }
+        long nowNs = io.clock.now();
+        agent.updateReports(callbacks.ownBreakers().get(), callbacks.advice(), nowNs, wallMs());
+        if (nowNs >= nextCountsNs) {
+            nextCountsNs = nowNs + COUNTS_INTERVAL_NS;
+            logChangedCounts();
+        }
+        io.at(nowNs + REPORT_INTERVAL_NS, this::updateReports);
+    }
 
-    private void send(String to, InetSocketAddress at, byte[] body) {
-        if (!door.knows(to)) {
-            vain.put(to, body);
+    private void logChangedCounts() {
+        String counts = counts();
+        if (!counts.equals(loggedCounts)) {
+            loggedCounts = counts;
+            callbacks.log().accept(counts);
         }
-        datagrams.send(at, door.seal(to, body, wallMs(), io.clock.now()));
     }
 
-    private void read(InetSocketAddress from, byte[] bytes, int length) {
-        long now = io.clock.now();
-        PacketAuthenticator.Opened o = door.open(from.getAddress(), bytes, length, Packet.DATAGRAM, wallMs(), now);
-        if (o.back() != null) {
-            if (agent.ceiling().take(o.back().length, now)) {
-                datagrams.send(from, o.back());
-            }
-        } else if (o.packet() != null) {
-            agent.receive(o.from(), o.packet(), now, wallMs(), o.wallMs());
+    // ---------------------------------------------------------------- receiving
+
+    private void receive(InetSocketAddress from, byte[] bytes, int length) {
+        long nowNs = io.clock.now();
+        OpenResult result =
+                authenticator.open(from.getAddress(), bytes, length, Packet.MAX_DATAGRAM_BYTES, wallMs(), nowNs);
+        if (result instanceof OpenResult.Opened opened) {
+            agent.receive(opened.sender(), opened.packet(), nowNs, wallMs(), opened.senderWallMs());
             flush();
-        } else if (o.from() != null) {
-            byte[] body = vain.remove(o.from());
+        } else if (result instanceof OpenResult.HelloAccepted accepted) {
+            byte[] body = unopenedBodies.remove(accepted.sender());
             if (body != null) {
-                send(o.from(), from, body);
+                send(accepted.sender(), from, body);
+            }
+        } else if (result instanceof OpenResult.TokenOffered offered) {
+            if (agent.sendLimiter().tryAcquire(offered.hello().length, nowNs)) {
+                datagrams.send(from, offered.hello());
             }
         }
     }
 
-    // ---------------------------------------------------------------- full exchanges
-
-    private void read(StreamTransport.Line line, byte[] bytes) {
-        long now = io.clock.now();
-        PacketAuthenticator.Opened o =
-                door.open(line.peer().getAddress(), bytes, bytes.length, Packet.STATE, wallMs(), now);
-        if (o.back() != null) {
-            line.send(o.back());
-        } else if (o.packet() != null) {
-            Packet answer = agent.receive(o.from(), o.packet(), now, wallMs(), o.wallMs());
-            if (answer != null) {
-                line.owes = PacketCodec.encode(answer, Packet.STATE);
-                line.send(door.seal(o.from(), line.owes, wallMs(), now));
-            } else {
-                line.end();
-            }
-            flush();
-        } else if (o.from() != null) { // it did not know this instance's token: the same again
-            byte[] body = line.owes != null ? line.owes : line.body;
-            if (body != null) {
-                line.send(door.seal(o.from(), body, wallMs(), now));
+    private void receive(FramedConnection connection, byte[] frame) {
+        long nowNs = io.clock.now();
+        OpenResult result = authenticator.open(
+                connection.peerAddress().getAddress(),
+                frame,
+                frame.length,
+                Packet.MAX_FULL_STATE_BYTES,
+                wallMs(),
+                nowNs);
+        if (result instanceof OpenResult.Opened opened) {
+            receiveState(connection, opened, nowNs);
+        } else if (result instanceof OpenResult.HelloAccepted accepted) {
+            if (connection.resendBody() != null) {
+                connection.send(seal(accepted.sender(), connection.resendBody()));
             }
+        } else if (result instanceof OpenResult.TokenOffered offered) {
+            connection.send(offered.hello());
         } else {
-            line.end(); // dropped: nothing more is to be had there
+            connection.closeWhenSent();
         }
     }
 
-    // ---------------------------------------------------------------- the operator
+    private void receiveState(FramedConnection connection, OpenResult.Opened opened, long nowNs) {
+        Optional<Packet> answer =
+                agent.receive(opened.sender(), opened.packet(), nowNs, wallMs(), opened.senderWallMs());
+        if (answer.isPresent()) {
+            byte[] body = PacketCodec.encode(answer.get(), Packet.MAX_FULL_STATE_BYTES);
+            connection.setResendBody(body);
+            connection.send(seal(opened.sender(), body));
+        } else {
+            connection.closeWhenSent();
+        }
+        flush();
+    }
+
+    // ---------------------------------------------------------------- changes by the operator
 
-    /** Another ceiling from now on. */
-    public void ceiling(double bytesPerS, double datagramsPerS) {
-        agent.ceiling().set(bytesPerS, datagramsPerS, io.clock.now());
+    /** Changes the limits on what is sent from now on. */
+    public void setSendLimits(double bytesPerSecond, double datagramsPerSecond) {
+        agent.sendLimiter().setLimits(bytesPerSecond, datagramsPerSecond, io.clock.now());
     }
 
-    /** Another roster from now on: those that went are forgotten with all that they said. */
-    public void roster(Roster fresh) {
-        List<String> gone = new ArrayList<>();
-        keys.roster().all().stream().filter(e -> fresh.get(e.name()) == null).forEach(e -> gone.add(e.name()));
-        keys.roster(fresh);
-        for (String name : gone) {
-            agent.remove(name);
-            door.remove(name);
-            vain.remove(name);
-            told.remove(name);
-            ties.log().accept(name + " is off the roster");
+    /** Replaces the roster from now on; members that are not on it are forgotten with all that they reported. */
+    public void setRoster(Roster newRoster) {
+        List<String> removed = new ArrayList<>();
+        for (Roster.Entry entry : keyring.roster().all()) {
+            if (newRoster.find(entry.name()).isEmpty()) {
+                removed.add(entry.name());
+            }
         }
+        keyring.setRoster(newRoster);
+        removed.forEach(this::remove);
+    }
+
+    private void remove(String member) {
+        agent.remove(member);
+        authenticator.remove(member);
+        unopenedBodies.remove(member);
+        loggedStates.remove(member);
+        callbacks.log().accept(member + " is off the roster");
     }
 
-    /** Says good-bye, and closes. */
+    /** Says good-bye to other members, and closes the sockets. */
     public void leave() {
         agent.leave();
         flush();
-        closed = true;
-        exchanges.close();
+        isClosed = true;
+        streams.close();
         datagrams.close();
     }
 
-    /** In one line: who is there, and what was dropped. */
+    // ---------------------------------------------------------------- what is seen
+
+    /** Returns one line for the operator: how many members are present, and what was dropped. */
     public String counts() {
-        StringBuilder s =
-                new StringBuilder(agent.membership().present() + " present, " + suspicions + " suspicions, dropped:");
-        boolean any = false;
-        for (PacketAuthenticator.Drop d : PacketAuthenticator.Drop.values()) {
-            any |= add(s, d.wireName(), door.dropped(d));
+        StringBuilder dropped = new StringBuilder();
+        for (EnvelopeDropReason reason : EnvelopeDropReason.values()) {
+            append(dropped, reason.wireName(), authenticator.dropCount(reason));
         }
-        for (GossipAgent.Drop d : GossipAgent.Drop.values()) {
-            any |= add(s, d.wireName(), agent.dropped(d));
+        for (DropReason reason : DropReason.values()) {
+            append(dropped, reason.wireName(), agent.dropCount(reason));
         }
-        any |= add(s, "reads put off", datagrams.rests());
-        any |= add(s, "connections refused", exchanges.refused());
-        return any ? s.toString() : s.append(" nothing").toString();
+        append(dropped, "reads put off", datagrams.readPauses());
+        append(dropped, "connections refused", streams.refusedConnections());
+        return agent.membership().presentCount() + " present, " + suspicions + " suspicions, dropped:"
+                + (dropped.length() == 0 ? " nothing" : dropped);
     }
 
-    private static boolean add(StringBuilder s, String what, long n) {
-        if (n > 0) {
-            s.append(' ').append(what).append(' ').append(n).append(';');
+    private static void append(StringBuilder line, String reason, long count) {
+        if (count > 0) {
+            line.append(' ').append(reason).append(' ').append(count).append(';');
         }
-        return n > 0;
     }
 
+    /** Returns the other members as this one knows them. */
     public List<MembershipUpdate> members() {
-        return agent.membership().seen();
+        return agent.membership().otherMembers();
     }
 
-    /** The claims of a destination that count yet. */
-    public List<HealthReport> claims(long destination) {
-        return agent.claims(destination, io.clock.now());
+    /** Returns the current health reports of a destination. */
+    public List<HealthReport> currentReports(long destination) {
+        return agent.currentReports(destination, io.clock.now());
     }
 
-    public List<HealthReport> claims() {
-        return agent.claims();
+    /** Returns every health report that is held, also expired ones. */
+    public List<HealthReport> allReports() {
+        return agent.allReports();
     }
 }
--- a/src/main/java/elderseam/gossip/transport/StreamTransport.java
+++ b/src/main/java/elderseam/gossip/transport/StreamTransport.java
@@ -1,12 +1,10 @@
 package elderseam.gossip.transport;
 
-import elderseam.gossip.Packet;
 import elderseam.http.IoLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.function.BiFunction;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.xnio.ChannelListeners;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -16,106 +14,71 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * Connections that carry envelopes, each after its length in four bytes. Eight at once from outside and four from here, eight
- * envelopes each way, and 5 s from first to last: who hangs holds one of eight for so long.
+ * The connections for full state exchanges: eight at once from others and four to others, each for 5 s at most, so that a peer
+ * that hangs holds one of them no longer. Confined to the I/O thread.
  */
 final class StreamTransport implements AutoCloseable {
-    /** What is said on a connection. */
-    interface Talk {
-        /** An envelope came; what it says back goes by {@link Line#send}. */
-        void read(Line line, byte[] bytes);
-    }
-
-    private static final int INBOUND = 8, OUTBOUND = 4, ENVELOPES = 8;
-    private static final long WHOLE_NS = 5_000_000_000L;
+    private static final int MAX_INBOUND = 8;
+    private static final int MAX_OUTBOUND = 4;
+    private static final int LISTEN_BACKLOG = 16;
+    private static final long EXCHANGE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(5);
     private static final OptionMap OPTIONS = OptionMap.builder()
             .set(Options.TCP_NODELAY, true)
             .set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, 16)
+            .set(Options.BACKLOG, LISTEN_BACKLOG)
             .getMap();
 
     private final IoLoop io;
-    private final Talk talk;
+    private final FramedConnection.Handler handler;
     private final AcceptingChannel<StreamConnection> server;
-    private final InetSocketAddress from; // others know this instance by its address
-    private int inbound, outbound;
-    private long refused, failed;
+    private final InetSocketAddress sourceAddress; // the roster has the address that this member connects from
+    private int inbound;
+    private int outbound;
+    private long refusedConnections;
 
-    StreamTransport(IoLoop io, InetSocketAddress at, Talk talk) throws IOException {
+    /** Binds the socket, and begins to accept. */
+    StreamTransport(IoLoop io, InetSocketAddress listenAddress, FramedConnection.Handler handler) throws IOException {
         this.io = io;
-        this.talk = talk;
+        this.handler = handler;
         this.server = io.worker()
-                .createStreamConnectionServer(at, ChannelListeners.openListenerAdapter(this::accepted), OPTIONS);
+                .createStreamConnectionServer(
+                        listenAddress, ChannelListeners.openListenerAdapter(this::accepted), OPTIONS);
         server.resumeAccepts();
-        this.from = new InetSocketAddress(at.getAddress(), 0);
+        this.sourceAddress = new InetSocketAddress(listenAddress.getAddress(), 0);
     }
 
-    InetSocketAddress local() {
+    InetSocketAddress localAddress() {
         return server.getLocalAddress(InetSocketAddress.class);
     }
 
     private void accepted(StreamConnection channel) {
-        if (inbound >= INBOUND) {
-            refused++;
+        if (inbound >= MAX_INBOUND) {
+            refusedConnections++;
             IoUtils.safeClose(channel);
             return;
         }
         inbound++;
-        new Line(channel, true, io.clock.now() + WHOLE_NS, "", null).begin();
+        new FramedConnection(channel, null, handler, () -> inbound--).start(io, io.clock.now() + EXCHANGE_TIMEOUT_NS);
     }
 
-    /** Connects and sends; {@code to}: whom the envelope is for, "" where that is not known; {@code body}: what it holds. */
-    void open(InetSocketAddress at, String to, byte[] body, BiFunction<String, byte[], byte[]> seal) {
-        if (outbound >= OUTBOUND) {
-            refused++;
+    /**
+     * Connects to a member and sends a frame, unless too many connections are open.
+     *
+     * @param body what is sent again if the member did not know this one's token
+     * @param envelope makes the first frame, which has the body, once there is a connection
+     */
+    void connect(InetSocketAddress address, byte[] body, Supplier<byte[]> envelope) {
+        if (outbound >= MAX_OUTBOUND) {
+            refusedConnections++;
             return;
         }
         outbound++;
-        long by = io.clock.now() + WHOLE_NS;
-        boolean[] over = new boolean[1];
-        IoFuture<StreamConnection> connecting = io.thread()
-                .openStreamConnection(
-                        from,
-                        at,
-                        channel -> {
-                            if (over[0]) {
-                                IoUtils.safeClose(channel);
-                                return;
-                            }
-                            over[0] = true;
-                            Line line = new Line(channel, false, by, to, body);
-                            line.begin();
-                            line.send(seal.apply(to, body));
-                        },
-                        null,
-                        OPTIONS);
-        Runnable gone = () -> {
-            if (!over[0]) {
-                over[0] = true;
-                outbound--;
-                failed++;
-            }
-        };
-        connecting.addNotifier(
-                (future, none) -> {
-                    if (future.getStatus() != IoFuture.Status.DONE) {
-                        io.run(gone);
-                    }
-                },
-                null);
-        io.at(by, () -> {
-            connecting.cancel();
-            gone.run();
-        });
-    }
-
-    /** Connections that were not taken, and own ones that came to nothing. */
-    long refused() {
-        return refused;
+        new ConnectAttempt(body, envelope).start(address);
     }
 
-    long failed() {
-        return failed;
+    /** Returns how many connections were not accepted, or not made, because too many were open. */
+    long refusedConnections() {
+        return refusedConnections;
     }
 
     @Override
@@ -123,120 +86,49 @@
         IoUtils.safeClose(server);
     }
 
-    /** One connection. */
-    final class Line {
-        private final StreamConnection channel;
-        private final boolean in;
-        private final long by;
-        private final InetSocketAddress peer;
-        final String to; // whom an own one is for, "" where not known
-        final byte[] body; // what an own one came to say
-        byte[] owes; // what this side answered last, until it is known to have opened
-        private final ByteBuffer head = ByteBuffer.allocate(4);
-        private ByteBuffer reading;
-        private final ArrayDeque<ByteBuffer> writing = new ArrayDeque<>();
-        private int read, sent;
-        private boolean closed, last;
+    /** One connect, which ends once: with a connection, with a failure, or at the deadline. */
+    private final class ConnectAttempt {
+        private final byte[] body;
+        private final Supplier<byte[]> envelope;
+        private final long deadlineNs = io.clock.now() + EXCHANGE_TIMEOUT_NS;
+        private boolean isOver;
 
-        private Line(StreamConnection channel, boolean in, long by, String to, byte[] body) {
-            this.channel = channel;
-            this.in = in;
-            this.by = by;
-            this.to = to;
+        ConnectAttempt(byte[] body, Supplier<byte[]> envelope) {
             this.body = body;
-            this.peer = channel.getPeerAddress(InetSocketAddress.class);
-        }
-
-        InetSocketAddress peer() {
-            return peer;
-        }
-
-        private void begin() {
-            channel.getSourceChannel().getReadSetter().set(c -> readable());
-            channel.getSinkChannel().getWriteSetter().set(c -> writable());
-            channel.getSourceChannel().resumeReads();
-            io.at(by, this::close);
+            this.envelope = envelope;
         }
 
-        private void readable() {
-            try {
-                while (!closed) {
-                    ByteBuffer into = reading == null ? head : reading;
-                    int n = channel.getSourceChannel().read(into);
-                    if (n == 0) {
-                        return;
-                    }
-                    if (n < 0) {
-                        close();
-                        return;
-                    }
-                    if (into.hasRemaining()) {
-                        continue;
-                    }
-                    if (reading == null) {
-                        int length = head.flip().getInt();
-                        head.clear();
-                        if (length < 1 || length > Packet.STATE || ++read > ENVELOPES) {
-                            close();
-                            return;
+        void start(InetSocketAddress address) {
+            IoFuture<StreamConnection> connecting =
+                    io.thread().openStreamConnection(sourceAddress, address, this::connected, null, OPTIONS);
+            connecting.addNotifier(
+                    (future, attachment) -> {
+                        if (future.getStatus() != IoFuture.Status.DONE) {
+                            io.run(this::failed);
                         }
-                        reading = ByteBuffer.allocate(length); // eight at once, so 2 MB at most
-                    } else {
-                        byte[] whole = reading.array();
-                        reading = null;
-                        talk.read(this, whole);
-                    }
-                }
-            } catch (IOException e) {
-                close();
-            }
+                    },
+                    null);
+            io.at(deadlineNs, () -> {
+                connecting.cancel();
+                failed();
+            });
         }
 
-        void send(byte[] bytes) {
-            if (closed || ++sent > ENVELOPES) {
+        private void connected(StreamConnection channel) {
+            if (isOver) {
+                IoUtils.safeClose(channel);
                 return;
             }
-            writing.add(ByteBuffer.allocate(4).putInt(bytes.length).flip());
-            writing.add(ByteBuffer.wrap(bytes));
-            writable();
+            isOver = true;
+            FramedConnection connection = new FramedConnection(channel, body, handler, () -> outbound--);
+            connection.start(io, deadlineNs);
+            connection.send(envelope.get());
         }
 
-        /** Ends once all that was sent has gone out. */
-        void end() {
-            last = true;
-            writable();
-        }
-
-        private void writable() {
-            try {
-                while (!writing.isEmpty() && !closed) {
-                    ByteBuffer b = writing.peek();
-                    if (channel.getSinkChannel().write(b) == 0 && b.hasRemaining()) {
-                        channel.getSinkChannel().resumeWrites();
-                        return;
-                    }
-                    if (!b.hasRemaining()) {
-                        writing.poll();
-                    }
-                }
-                channel.getSinkChannel().suspendWrites();
-                if (last) {
-                    close();
-                }
-            } catch (IOException e) {
-                close();
-            }
-        }
-
-        private void close() {
-            if (!closed) {
-                closed = true;
-                if (in) {
-                    inbound--;
-                } else {
-                    outbound--;
-                }
-                IoUtils.safeClose(channel);
+        private void failed() {
+            if (!isOver) {
+                isOver = true;
+                outbound--;
             }
         }
     }
--- a/src/main/java/elderseam/gossip/transport/package-info.java
+++ b/src/main/java/elderseam/gossip/transport/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The gossip's sockets on the one I/O thread: datagrams, full exchanges over connections, and the post that ties them to the
- * decisions. Knows {@link elderseam.gossip}, its trust and {@link elderseam.http.IoLoop}; nothing of streams or of the module.
+ * Gossip's sockets on the one I/O thread: datagrams ({@link elderseam.gossip.transport.DatagramTransport}), connections for
+ * full state exchanges ({@link elderseam.gossip.transport.StreamTransport}), and {@link
+ * elderseam.gossip.transport.GossipTransport}, which connects both with the agent.
  */
 package elderseam.gossip.transport;
--- a/src/main/java/elderseam/testkit/faults/GossipAddresses.java
+++ b/src/main/java/elderseam/testkit/faults/GossipAddresses.java
@@ -43,8 +43,8 @@
                 new Place(
                         number,
                         name + " 127.0.0.0/8 "
-                                + KeyFile.make(folder.resolve(name).resolve("key"))
-                                        .text(),
+                                + KeyFile.create(folder.resolve(name).resolve("key"))
+                                        .publicKeyText(),
                         connections,
                         new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
     }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -1,7 +1,8 @@
 package elderseam.testkit.gossip;
 
-import elderseam.gossip.GossipAgent;
+import elderseam.gossip.Advice;
 import elderseam.gossip.HealthReport;
+import elderseam.gossip.OwnBreaker;
 import elderseam.policy.AttemptResult;
 import elderseam.policy.CompletedAttempt;
 import elderseam.policy.ConnectionSettings;
@@ -292,11 +293,11 @@
     // ---------------------------------------------------------------- its part in the gossip
 
     @Override
-    public List<GossipAgent.Own> own() {
-        List<GossipAgent.Own> all = new ArrayList<>();
+    public List<OwnBreaker> own() {
+        List<OwnBreaker> all = new ArrayList<>();
         brain.breakers(
                 time.now(),
-                (id, b) -> all.add(new GossipAgent.Own(
+                (id, b) -> all.add(new OwnBreaker(
                         id,
                         switch (b.state()) {
                             case CLOSED -> HealthReport.State.CLOSED;
@@ -310,7 +311,7 @@
     }
 
     @Override
-    public void advise(long destination, GossipAgent.Word word) {
-        brain.advised(time.now(), destination, word.doubt(), word.trying());
+    public void advise(long destination, Advice word) {
+        brain.advised(time.now(), destination, word.suspicion(), word.probers());
     }
 }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
@@ -1,9 +1,12 @@
 package elderseam.testkit.gossip;
 
+import elderseam.gossip.Advice;
 import elderseam.gossip.GossipAgent;
 import elderseam.gossip.GossipTimings;
 import elderseam.gossip.HealthReport;
+import elderseam.gossip.LocalMember;
 import elderseam.gossip.MemberState;
+import elderseam.gossip.OwnBreaker;
 import elderseam.gossip.Packet;
 import elderseam.gossip.PacketCodec;
 import elderseam.gossip.PeerVerifier;
@@ -28,30 +31,30 @@
 
     /** What a node's dispatcher tells of its breakers, and is told of others'. */
     interface Dispatching {
-        List<GossipAgent.Own> own();
+        List<OwnBreaker> own();
 
-        void advise(long destination, GossipAgent.Word word);
+        void advise(long destination, Advice word);
     }
 
     /** Keys that cost nothing; that nobody here forges is the network's doing. */
     private static final PeerVerifier TRUST = new PeerVerifier() {
         @Override
-        public int key() {
+        public int keyId() {
             return 1;
         }
 
         @Override
-        public byte[] seal(byte[] bytes) {
+        public byte[] sign(byte[] bytes) {
             return new byte[64];
         }
 
         @Override
-        public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
+        public boolean isSignatureValid(String name, int key, byte[] bytes, byte[] seal) {
             return true;
         }
 
         @Override
-        public boolean mayBeAt(String name, String address) {
+        public boolean isAddressAllowed(String name, String address) {
             return name.equals(address);
         }
     };
@@ -119,10 +122,7 @@
         n.lives++;
         String by = n.name;
         n.agent = new GossipAgent(
-                n.name,
-                n.name,
-                List.of("n0000", "n0001"),
-                incarnation,
+                new LocalMember(n.name, n.name, List.of("n0000", "n0001"), incarnation),
                 tempo,
                 new SendRateLimiter(64 << 10, 100, n.now()),
                 TRUST,
@@ -143,7 +143,7 @@
     private void look(Node n, long at) {
         time.at(at, () -> {
             if (n.up && !n.hung) {
-                n.agent.look(n.dispatching.own(), n.dispatching::advise, n.now(), n.wallMs());
+                n.agent.updateReports(n.dispatching.own(), n.dispatching::advise, n.now(), n.wallMs());
                 flush(n);
             }
             look(n, at + LOOK_NS);
@@ -155,19 +155,19 @@
         long start = time.now();
         tie(from, new Dispatching() {
             @Override
-            public List<GossipAgent.Own> own() {
-                return List.of(new GossipAgent.Own(destination, HealthReport.State.OPEN, 0, 20, 20));
+            public List<OwnBreaker> own() {
+                return List.of(new OwnBreaker(destination, HealthReport.State.OPEN, 0, 20, 20));
             }
 
             @Override
-            public void advise(long of, GossipAgent.Word word) {
+            public void advise(long of, Advice word) {
                 // what others say is not the matter here
             }
         });
         for (; time.now() - start <= within; pass(10 * MS)) {
             if (nodes.values().stream()
                     .filter(n -> n.up)
-                    .allMatch(n -> !n.agent.claims(destination, n.now()).isEmpty())) {
+                    .allMatch(n -> !n.agent.currentReports(destination, n.now()).isEmpty())) {
                 return time.now() - start;
             }
         }
@@ -230,13 +230,13 @@
 
     /** What one member holds of another, or null. */
     public MemberState standing(String by, String of) {
-        return nodes.get(by).agent.membership().standing(of);
+        return nodes.get(by).agent.membership().stateOf(of).orElse(null);
     }
 
     /** Whether each one that is up holds all others that are up for present, and nobody else. */
     public boolean agreed() {
         List<Node> up = nodes.values().stream().filter(n -> n.up).toList();
-        return up.stream().allMatch(n -> n.agent.membership().present() == up.size());
+        return up.stream().allMatch(n -> n.agent.membership().presentCount() == up.size());
     }
 
     /** The first at which an {@link #agreed} fleet was seen within that time, looking every 100 ms; -1: never. */
@@ -264,7 +264,7 @@
     /** How many claims of a destination count for one member. */
     public int claims(String by, long destination) {
         Node n = nodes.get(by);
-        return n.agent.claims(destination, n.now()).size();
+        return n.agent.currentReports(destination, n.now()).size();
     }
 
     // ---------------------------------------------------------------- the network
@@ -282,15 +282,15 @@
     }
 
     private void flush(Node n) {
-        for (GossipAgent.Outgoing o : n.agent.sent(n.now())) {
-            n.bytes += HEAD + o.bytes().length;
+        for (GossipAgent.Outgoing o : n.agent.drainDatagrams(n.now())) {
+            n.bytes += HEAD + o.packet().length;
             n.datagrams++;
-            carry(n, nodes.get(o.address()), o.bytes());
+            carry(n, nodes.get(o.address()), o.packet());
         }
-        for (String with : n.agent.syncs()) {
+        for (String with : n.agent.drainStateExchanges()) {
             exchange(n, nodes.get(with));
         }
-        long next = n.agent.nextAt();
+        long next = n.agent.nextTickNs();
         if (next < Long.MAX_VALUE && (next < n.tickAt || n.tickAt < n.now())) {
             n.tickAt = next;
             long life = n.lives;
@@ -341,13 +341,15 @@
         if (b == null || b == a || !b.up || b.hung || apart(a, b)) {
             return;
         }
-        Packet states = a.agent.state(false, a.now());
+        Packet states = a.agent.fullState(false, a.now());
         a.bytes += whole(states);
         long lifeA = a.lives, wall = a.wallMs();
         time.at(
                 time.now() + delay(),
                 () -> on(b, b.lives, () -> {
-                    Packet back = b.agent.receive(a.name, states, b.now(), b.wallMs(), wall);
+                    Packet back = b.agent
+                            .receive(a.name, states, b.now(), b.wallMs(), wall)
+                            .orElseThrow();
                     b.bytes += whole(back);
                     long backWall = b.wallMs();
                     time.at(
@@ -358,7 +360,7 @@
 
     private static long whole(Packet p) {
         return (long) HEAD
-                + p.rumours().stream().mapToInt(r -> r.bytes()).sum()
-                + p.claims().stream().mapToInt(c -> c.bytes()).sum();
+                + p.updates().stream().mapToInt(r -> r.maxEncodedBytes()).sum()
+                + p.reports().stream().mapToInt(c -> c.encodedBytes()).sum();
     }
 }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedService.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedService.java
@@ -1,8 +1,9 @@
 package elderseam.testkit.gossip;
 
-import elderseam.gossip.GossipAgent;
+import elderseam.gossip.Advice;
 import elderseam.gossip.GossipTimings;
 import elderseam.gossip.HealthReport;
+import elderseam.gossip.OwnBreaker;
 import elderseam.testkit.emulator.VirtualTime;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,7 +48,7 @@
         VirtualTime time = new VirtualTime();
         SplittableRandom seeds = new SplittableRandom(seed);
         SimulatedFleet fleet =
-                new SimulatedFleet(time, instances, GossipTimings.USUAL, loss, loss / 10, seeds.nextLong());
+                new SimulatedFleet(time, instances, GossipTimings.DEFAULTS, loss, loss / 10, seeds.nextLong());
         fleet.untilAgreed(60 * S);
         long from = time.now();
         Map<Long, SimulatedDestination> partners = new TreeMap<>();
@@ -149,16 +150,16 @@
             VirtualTime time, Map<Long, SimulatedDestination> partners, boolean flaps) {
         return new SimulatedFleet.Dispatching() {
             @Override
-            public List<GossipAgent.Own> own() {
+            public List<OwnBreaker> own() {
                 HealthReport.State says =
                         flaps && time.now() / (5 * S) % 2 == 1 ? HealthReport.State.CLOSED : HealthReport.State.OPEN;
                 return partners.keySet().stream()
-                        .map(id -> new GossipAgent.Own(id, says, 10_000, 100, 100))
+                        .map(id -> new OwnBreaker(id, says, 10_000, 100, 100))
                         .toList();
             }
 
             @Override
-            public void advise(long destination, GossipAgent.Word word) {
+            public void advise(long destination, Advice word) {
                 // a liar does not listen
             }
         };
--- a/src/main/java/elderseam/testkit/gossip/SimulationRun.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulationRun.java
@@ -40,7 +40,11 @@
                     "a trial has 3 to 1000 instances, a loss of 0 to 0.9, at least 1 s undisturbed");
         }
         SimulatedFleet fleet = new SimulatedFleet(
-                instances, localHealth ? GossipTimings.USUAL : GossipTimings.USUAL.plain(), loss, loss / 10, seed);
+                instances,
+                localHealth ? GossipTimings.DEFAULTS : GossipTimings.DEFAULTS.withoutLifeguard(),
+                loss,
+                loss / 10,
+                seed);
         long joined = fleet.untilAgreed(300 * S);
         fleet.pass(10 * S);
         fleet.traffic();
--- a/src/test/java/elderseam/compat/WireNamesCompatTest.java
+++ b/src/test/java/elderseam/compat/WireNamesCompatTest.java
@@ -3,8 +3,8 @@
 import elderseam.core.Lifecycle;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.partition.EndpointSubsetting;
-import elderseam.gossip.GossipAgent;
-import elderseam.gossip.security.PacketAuthenticator;
+import elderseam.gossip.DropReason;
+import elderseam.gossip.security.EnvelopeDropReason;
 import elderseam.rules.cel.Type;
 import elderseam.testkit.emulator.RuleCheckers;
 import elderseam.testkit.emulator.Scenario;
@@ -44,8 +44,8 @@
                 .add("state on the control address", Lifecycle.State.values(), Lifecycle.State::wireName)
                 .add("op of a history", REQUESTED_OPERATIONS, LeaseTable.Operation::name)
                 .add("type of an expression", Type.Plain.values(), Type::toString)
-                .add("envelope dropped", PacketAuthenticator.Drop.values(), PacketAuthenticator.Drop::wireName)
-                .add("packet dropped", GossipAgent.Drop.values(), GossipAgent.Drop::wireName);
+                .add("envelope dropped", EnvelopeDropReason.values(), EnvelopeDropReason::wireName)
+                .add("packet dropped", DropReason.values(), DropReason::wireName);
         RecordedText.check("cli/wire_names", table.toString());
     }
 }
--- a/src/test/java/elderseam/gossip/GossipAgentTest.java
+++ b/src/test/java/elderseam/gossip/GossipAgentTest.java
@@ -1,414 +1,172 @@
 package elderseam.gossip;
 
+import static elderseam.gossip.AgentHarness.SECOND_NS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-/** One instance and what others, honest or not, tell it. */
+/** One member, the updates that others send it, and the bounds of what it sends; {@link GossipAgentReportsTest} has reports. */
 class GossipAgentTest {
-    private static final long S = 1_000_000_000L;
+    private static final String LONGEST_ADDRESS = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
 
-    /** Seals that name their maker: a forger can't make another's. */
-    private record Seals(String self) implements PeerVerifier {
-        @Override
-        public int key() {
-            return self.hashCode();
-        }
-
-        @Override
-        public byte[] seal(byte[] bytes) {
-            byte[] seal = new byte[64];
-            seal[0] = (byte) self.charAt(0);
-            seal[1] = (byte) Arrays.hashCode(bytes);
-            return seal;
-        }
-
-        @Override
-        public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
-            return key == name.hashCode()
-                    && seal[0] == (byte) name.charAt(0)
-                    && seal[1] == (byte) Arrays.hashCode(bytes);
-        }
-
-        @Override
-        public boolean mayBeAt(String name, String address) {
-            return address.equals(name + ":1");
-        }
-    }
-
-    private long now = 100 * S;
-    private long wall = 1_000_000;
-    private final SendRateLimiter ceiling = new SendRateLimiter(64 << 10, 100, now);
-    private final GossipAgent agent = new GossipAgent(
-            "a",
-            "a:1",
-            List.of(),
-            1,
-            GossipTimings.USUAL,
-            ceiling,
-            new Seals("a"),
-            now,
-            new SplittableRandom(1),
-            (n, s) -> {});
-    private final Map<Long, GossipAgent.Word> words = new HashMap<>();
-    private final Map<String, Long> numbers = new HashMap<>();
-
-    private static HealthReport open(String reporter, long number, long destination) {
-        return new HealthReport(reporter, 1, number, destination, HealthReport.State.OPEN, 0, 20, 20, 10_000);
-    }
+    private final AgentHarness harness = new AgentHarness();
+    private final GossipAgent agent = harness.agent;
 
-    private SignedReport signed(HealthReport c, String by, long at) {
-        Seals s = new Seals(by);
-        return new SignedReport(
-                c,
-                at,
-                c.reporter().hashCode(),
-                s.seal(PacketCodec.sealed(c, at, c.reporter().hashCode())));
+    private static MembershipUpdate alive(String member, String address) {
+        return new MembershipUpdate(member, address, MemberState.ALIVE, 1, member);
     }
 
-    private void tell(String from, SignedReport... claims) {
-        agent.receive(from, new Packet(new Message.News(), List.of(), List.of(claims)), now, wall, wall);
-    }
-
-    private void says(String reporter, long destination, HealthReport.State state) {
-        HealthReport c = new HealthReport(
-                reporter, 1, numbers.merge(reporter, 1L, Long::sum), destination, state, 0, 20, 20, 10_000);
-        tell(reporter, signed(c, reporter, wall));
-    }
-
-    private void look(GossipAgent.Own... own) {
-        agent.look(List.of(own), words::put, now, wall);
-    }
-
-    private void pass(long s) {
-        now += s * S;
-        wall += s * 1_000;
-    }
-
-    private double doubt(long destination) {
-        return words.getOrDefault(destination, new GossipAgent.Word(-1, -1)).doubt();
+    private MembershipUpdate ownUpdate() {
+        return agent.membership().fullState().get(0);
     }
 
     @Test
-    void oneReporterIsWorthLessThanTheLeastEffect() {
-        says("b", 1, HealthReport.State.OPEN);
-        look();
-        assertEquals(0, doubt(1));
-        says("c", 1, HealthReport.State.OPEN);
-        look();
-        assertTrue(doubt(1) > 0 && doubt(1) < 0.25, "two: " + doubt(1));
-        for (String r : List.of("d", "e", "f")) {
-            says(r, 1, HealthReport.State.OPEN);
-        }
-        look();
-        assertEquals(1, doubt(1), 1e-9);
-        pass(11);
-        look();
-        assertEquals(0, doubt(1), "expired, and told so once");
-        words.clear();
-        look();
-        assertEquals(Map.of(), words);
+    void updatesNeedAnAddressThatTheMemberMayUse() {
+        harness.receive("b", alive("c", "d:1"), alive("d", "d:1"));
+        List<MembershipUpdate> members = agent.membership().otherMembers();
+        assertEquals(2, agent.dropCount(DropReason.UNKNOWN_MEMBER) + members.size());
+        assertEquals("d", members.get(0).member());
     }
 
-    /** A majority that lies for ever of a bank that answers this instance well: no doubt at all, and each lie costs its teller. */
+    /** An accusation at an incarnation that is too high is ignored; the highest allowed is refuted, and that is believed. */
     @Test
-    void aLyingMajorityIsContradictedByOwnCalls() {
-        for (int i = 0; i < 6; i++) {
-            for (String r : List.of("b", "c", "d", "e")) {
-                says(r, 1, HealthReport.State.OPEN);
-            }
-            look(new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 1));
-            assertEquals(0, doubt(1));
-            pass(3);
+    void incarnationsAreBoundedByTheClock() {
+        long before = ownUpdate().incarnation();
+        long highestAllowed = harness.wallMs + TimeUnit.DAYS.toMillis(1);
+        for (long tooHigh : new long[] {Long.MAX_VALUE / 2, highestAllowed + 1}) {
+            harness.receive("b", new MembershipUpdate("a", "a:1", MemberState.SUSPECT, tooHigh, "b"));
         }
-        assertTrue(agent.worth("b", now) < 0.1, "worth " + agent.worth("b", now));
-        for (String r : List.of("b", "c", "d", "e")) {
-            says(r, 2, HealthReport.State.OPEN);
-        }
-        look();
-        assertEquals(0, doubt(2), "of a destination without own calls they are not believed any more");
-        pass(3_600);
-        assertTrue(agent.worth("b", now) > 0.9, "an hour later");
-    }
+        assertEquals(before, ownUpdate().incarnation());
+        assertEquals(2, agent.dropCount(DropReason.INCARNATION_AHEAD));
 
-    /** One that flaps costs itself its worth just so, and never reaches the least effect. */
-    @Test
-    void aFlappingLiarMovesNothing() {
-        for (int i = 0; i < 40; i++) {
-            says("b", 1, i % 2 == 0 ? HealthReport.State.OPEN : HealthReport.State.CLOSED);
-            look(new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0));
-            assertEquals(0, doubt(1));
-            pass(1);
-        }
-        assertTrue(agent.worth("b", now) < 0.05);
-    }
+        harness.receive("b", new MembershipUpdate("a", "a:1", MemberState.SUSPECT, highestAllowed, "b"));
+        MembershipUpdate refutation = ownUpdate();
+        assertEquals(highestAllowed + 1, refutation.incarnation());
 
-    /** A claim that its reporter did not seal, or whose seal is over something else, is passed over and counted. */
-    @Test
-    void aForgedClaimIsNone() {
-        tell("b", signed(open("c", 1, 1), "b", wall));
-        SignedReport true1 = signed(open("c", 2, 1), "c", wall);
-        tell("b", new SignedReport(open("c", 3, 1), wall, true1.key(), true1.seal()));
-        assertEquals(2, agent.dropped(GossipAgent.Drop.FORGED_CLAIM));
-        assertEquals(0, agent.claims().size());
-        tell("b", true1);
-        assertEquals(1, agent.claims().size());
+        GossipAgent other = harness.agent("c", new FakePeerVerifier("c"), 2);
+        Packet packet = new Packet(new Message.Gossip(), List.of(refutation), List.of());
+        other.receive("a", packet, harness.nowNs, harness.wallMs, harness.wallMs);
+        assertEquals(MemberState.ALIVE, other.membership().stateOf("a").orElseThrow());
     }
 
-    /** Held back for a minute and then told: too old, though its reporter's clock is two minutes off. */
+    /** Above the send limit nothing is sent; below it the newest and most confirmed reports go first. */
     @Test
-    void aClaimThatWasHeldBackIsTooOld() {
-        long theirs = wall + 120_000;
-        SignedReport s = signed(open("c", 1, 1), "c", theirs), fresh = signed(open("c", 2, 1), "c", theirs + 60_000);
-        agent.receive("c", new Packet(new Message.News(), List.of(), List.of()), now, wall, theirs);
-        pass(60);
-        tell("b", s);
-        assertEquals(1, agent.dropped(GossipAgent.Drop.STALE_CLAIM));
-        tell("b", fresh);
-        assertEquals(1, agent.claims().size());
-    }
-
-    /** One sender makes this instance check 40 seals a second at most, whatever it tells. */
-    @Test
-    void checksHaveARate() {
-        for (int i = 0; i < 200; i++) {
-            tell("b", signed(open("c", i + 1, i), "b", wall));
+    void theSendLimitLetsTheMostConfirmedReportsGoFirst() {
+        harness.receive("b", alive("b", "b:1"));
+        for (int destination = 1; destination <= 30; destination++) {
+            harness.receiveReport("b", destination, HealthReport.State.OPEN);
         }
-        assertTrue(agent.dropped(GossipAgent.Drop.FORGED_CLAIM) <= 40
-                && agent.dropped(GossipAgent.Drop.CLAIMS_OVER_RATE) >= 160);
-        tell("d", signed(open("d", 1, 1), "d", wall));
-        assertEquals(1, agent.claims().size(), "another sender has a budget of its own");
-    }
-
-    /** A member that may not be where a rumour puts it is not taken on; nor one that is not on the roster. */
-    @Test
-    void aRumourOfAnAddressThatIsNotItsOwn() {
-        agent.receive(
-                "b",
-                new Packet(
-                        new Message.News(),
-                        List.of(
-                                new MembershipUpdate("c", "d:1", MemberState.ALIVE, 1, "c"),
-                                new MembershipUpdate("d", "d:1", MemberState.ALIVE, 1, "d")),
-                        List.of()),
-                now,
-                wall,
-                wall);
-        assertEquals(
-                2,
-                agent.dropped(GossipAgent.Drop.STRANGER)
-                        + agent.membership().seen().size());
-        assertEquals("d", agent.membership().seen().get(0).member());
-    }
-
-    /** An accusation at an incarnation that could not be outbid is passed over; one that can is refuted, and believed when it is. */
-    @Test
-    void anIncarnationCanNotBePushedBeyondBelief() {
-        long ownBefore = agent.membership().state().get(0).incarnation(), most = wall + 86_400_000;
-        for (long lie : new long[] {Long.MAX_VALUE / 2, most + 1}) {
-            agent.receive(
-                    "b",
-                    new Packet(
-                            new Message.News(),
-                            List.of(new MembershipUpdate("a", "a:1", MemberState.SUSPECT, lie, "b")),
-                            List.of()),
-                    now,
-                    wall,
-                    wall);
+        for (String reporter : List.of("c", "d", "e")) {
+            harness.receiveReport(reporter, 7, HealthReport.State.OPEN);
         }
-        assertEquals(ownBefore, agent.membership().state().get(0).incarnation());
-        assertEquals(2, agent.dropped(GossipAgent.Drop.AHEAD));
-        agent.receive(
-                "b",
-                new Packet(
-                        new Message.News(),
-                        List.of(new MembershipUpdate("a", "a:1", MemberState.SUSPECT, most, "b")),
-                        List.of()),
-                now,
-                wall,
-                wall);
-        MembershipUpdate refutes = agent.membership().state().get(0);
-        assertEquals(most + 1, refutes.incarnation());
-        GossipAgent other = new GossipAgent(
-                "c",
-                "c:1",
-                List.of(),
-                1,
-                GossipTimings.USUAL,
-                ceiling,
-                new Seals("c"),
-                now,
-                new SplittableRandom(2),
-                (n, s) -> {});
-        other.receive("a", new Packet(new Message.News(), List.of(refutes), List.of()), now, wall, wall);
-        assertEquals(MemberState.ALIVE, other.membership().standing("a"));
-    }
+        agent.drainDatagrams(harness.nowNs);
+        harness.sendLimiter.setLimits(1_000, 2, harness.nowNs);
 
-    /** Above the ceiling nothing leaves; while it binds, the newest and most confirmed claims are the ones that do. */
-    @Test
-    void theCeilingLetsTheMostConfirmedGoFirst() {
-        agent.receive(
-                "b",
-                new Packet(
-                        new Message.News(),
-                        List.of(new MembershipUpdate("b", "b:1", MemberState.ALIVE, 1, "b")),
-                        List.of()),
-                now,
-                wall,
-                wall);
-        for (int d = 1; d <= 30; d++) {
-            says("b", d, HealthReport.State.OPEN);
-        }
-        for (String r : List.of("c", "d", "e")) {
-            says(r, 7, HealthReport.State.OPEN);
-        }
-        agent.sent(now);
-        ceiling.set(1_000, 2, now);
-        List<Long> said = new ArrayList<>();
+        List<Long> sentDestinations = new ArrayList<>();
         int bytes = 0;
         for (int i = 0; i < 10; i++) {
-            now += S / 5;
-            wall += 200;
-            agent.tick(now);
-            for (GossipAgent.Outgoing o : agent.sent(now)) {
-                bytes += o.bytes().length + 160;
-                PacketCodec.decode(java.nio.ByteBuffer.wrap(o.bytes()))
-                        .claims()
-                        .forEach(s -> said.add(s.claim().destination()));
+            harness.nowNs += SECOND_NS / 5;
+            harness.wallMs += 200;
+            agent.tick(harness.nowNs);
+            for (GossipAgent.Outgoing datagram : agent.drainDatagrams(harness.nowNs)) {
+                bytes += datagram.packet().length + 160;
+                for (SignedReport sent :
+                        PacketCodec.decode(ByteBuffer.wrap(datagram.packet())).reports()) {
+                    sentDestinations.add(sent.report().destination());
+                }
             }
         }
         assertTrue(bytes <= 1_000 + 2 * 1_000, bytes + " bytes in two seconds");
-        assertTrue(agent.dropped(GossipAgent.Drop.CEILING) > 0);
-        assertEquals(7L, said.get(0), said::toString);
-        assertTrue(said.indexOf(30L) >= 0 && said.indexOf(1L) < 0, "the newest before the oldest: " + said);
+        assertTrue(agent.dropCount(DropReason.SEND_LIMIT) > 0);
+        assertEquals(7L, sentDestinations.get(0), sentDestinations::toString);
+        assertTrue(
+                sentDestinations.contains(30L) && !sentDestinations.contains(1L),
+                "the newest before the oldest: " + sentDestinations);
     }
 
-    /** Own breakers: what is news is said at once, what lasts is said again before it expires, what never opened not at all. */
+    /** With the longest names and as much to send as there can be, no datagram and no full state exceeds its size. */
     @Test
-    void ownClaims() {
-        look(
-                new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0),
-                new GossipAgent.Own(2, HealthReport.State.OPEN, 500, 4, 4));
-        assertEquals(
-                List.of(2L),
-                agent.claims().stream().map(HealthReport::destination).toList());
-        long first = agent.claims().get(0).number();
-        pass(1);
-        look(
-                new GossipAgent.Own(1, HealthReport.State.CLOSED, 0, 40, 0),
-                new GossipAgent.Own(2, HealthReport.State.OPEN, 0, 4, 4));
-        assertEquals(first, agent.claims().get(0).number());
-        pass(2);
-        look(new GossipAgent.Own(2, HealthReport.State.OPEN, 0, 4, 4));
-        assertEquals(first + 1, agent.claims().get(0).number());
-        look(new GossipAgent.Own(2, HealthReport.State.CLOSED, 0, 1, 0));
-        assertEquals(HealthReport.State.CLOSED, agent.claims().get(0).state());
-        List<GossipAgent.Own> many = new ArrayList<>();
-        for (long d = 1; d <= 1_000; d++) {
-            many.add(new GossipAgent.Own(d, HealthReport.State.OPEN, 0, 4, 4));
+    void theLongestNamesFit() {
+        String self = "a".repeat(64);
+        GossipAgent longNamed = harness.agent(self, LONGEST_ADDRESS, new AnybodyVerifier(), 1);
+        longNamed.receive("b", longestFullState(), harness.nowNs, harness.wallMs, harness.wallMs);
+        for (int i = 0; i < 200; i++) {
+            String reporter = String.format("%064d", i);
+            longNamed.receive(reporter, reportPacket(reporter, i), harness.nowNs, harness.wallMs, harness.wallMs);
         }
-        for (int i = 0; i < 120; i++) {
-            pass(1);
-            agent.look(many, words::put, now, wall);
+
+        byte[] state = PacketCodec.encode(longNamed.fullState(true, harness.nowNs), 2 * Packet.MAX_FULL_STATE_BYTES);
+        int stateBytes = state.length + Packet.envelopeBytes(self);
+        assertTrue(stateBytes > 190_000 && stateBytes <= Packet.MAX_FULL_STATE_BYTES, stateBytes + " bytes");
+
+        int longest = 0;
+        for (int i = 0; i < 100; i++) {
+            harness.nowNs += SECOND_NS / 10;
+            longNamed.tick(harness.nowNs);
+            for (GossipAgent.Outgoing datagram : longNamed.drainDatagrams(harness.nowNs)) {
+                longest = Math.max(longest, datagram.packet().length + Packet.envelopeBytes(self));
+            }
         }
-        assertTrue(agent.claims().size() <= 256, agent.claims().size() + " held");
+        assertTrue(longest > 1_000 && longest <= Packet.MAX_DATAGRAM_BYTES, longest + " bytes");
     }
 
-    /** Names as long as they may be, and as much to say as there can be: no datagram and no state is over its size. */
-    @Test
-    void theLongestNamesFit() {
-        PeerVerifier anybody = new PeerVerifier() {
-            @Override
-            public int key() {
-                return 1;
-            }
+    private static Packet longestFullState() {
+        List<MembershipUpdate> updates = new ArrayList<>();
+        String accuser = "b".repeat(64);
+        for (int i = 0; i < 1_024; i++) {
+            String member = String.format("%064d", i);
+            updates.add(new MembershipUpdate(member, LONGEST_ADDRESS, MemberState.SUSPECT, 1, accuser));
+        }
+        return new Packet(new Message.FullState(true), updates, List.of());
+    }
 
-            @Override
-            public byte[] seal(byte[] bytes) {
-                return new byte[64];
-            }
+    private Packet reportPacket(String reporter, long destination) {
+        HealthReport report = AgentHarness.openReport(reporter, 1, destination);
+        SignedReport signed = new SignedReport(report, harness.wallMs, 1, new byte[SignedReport.SIGNATURE_BYTES]);
+        return new Packet(new Message.Gossip(), List.of(), List.of(signed));
+    }
 
-            @Override
-            public boolean genuine(String name, int key, byte[] bytes, byte[] seal) {
-                return true;
-            }
+    private static final class AnybodyVerifier implements PeerVerifier {
+        @Override
+        public int keyId() {
+            return 1;
+        }
 
-            @Override
-            public boolean mayBeAt(String name, String address) {
-                return true;
-            }
-        };
-        String self = "a".repeat(64), address = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
-        GossipAgent a = new GossipAgent(
-                self,
-                address,
-                List.of(),
-                1,
-                GossipTimings.USUAL,
-                ceiling,
-                anybody,
-                now,
-                new SplittableRandom(1),
-                (n, s) -> {});
-        List<MembershipUpdate> all = new ArrayList<>();
-        for (int i = 0; i < 1_024; i++) {
-            all.add(new MembershipUpdate(String.format("%064d", i), address, MemberState.SUSPECT, 1, "b".repeat(64)));
+        @Override
+        public byte[] sign(byte[] bytes) {
+            return new byte[SignedReport.SIGNATURE_BYTES];
         }
-        a.receive("b", new Packet(new Message.State(true), all, List.of()), now, wall, wall);
-        for (int i = 0; i < 200; i++) {
-            String reporter = String.format("%064d", i);
-            a.receive(
-                    reporter,
-                    new Packet(
-                            new Message.News(),
-                            List.of(),
-                            List.of(new SignedReport(open(reporter, 1, i), wall, 1, new byte[64]))),
-                    now,
-                    wall,
-                    wall);
+
+        @Override
+        public boolean isSignatureValid(String member, int keyId, byte[] bytes, byte[] signature) {
+            return true;
         }
-        int state = PacketCodec.encode(a.state(true, now), 2 * Packet.STATE).length + Packet.envelope(self);
-        assertTrue(state > 190_000 && state <= Packet.STATE, state + " bytes");
-        int longest = 0;
-        for (int i = 0; i < 100; i++) {
-            now += S / 10;
-            a.tick(now);
-            for (GossipAgent.Outgoing o : a.sent(now)) {
-                longest = Math.max(longest, o.bytes().length + Packet.envelope(self));
-            }
+
+        @Override
+        public boolean isAddressAllowed(String member, String address) {
+            return true;
         }
-        assertTrue(longest > 1_000 && longest <= Packet.DATAGRAM, longest + " bytes");
     }
 
     @Test
-    void whoIsOffTheRosterIsForgotten() {
-        agent.receive(
-                "b",
-                new Packet(
-                        new Message.News(),
-                        List.of(new MembershipUpdate("b", "b:1", MemberState.ALIVE, 1, "b")),
-                        List.of()),
-                now,
-                wall,
-                wall);
-        for (String r : List.of("b", "c", "d", "e", "f")) {
-            says(r, 1, HealthReport.State.OPEN);
-        }
-        look();
-        assertEquals(1, doubt(1), 1e-9);
-        for (String r : List.of("b", "c", "d", "e", "f")) {
-            agent.remove(r);
-        }
-        look();
-        assertEquals(0, doubt(1));
-        assertEquals(1, agent.membership().present());
-        assertEquals(List.of(), agent.state(false, now).claims());
+    void aRemovedMemberIsForgotten() {
+        List<String> reporters = List.of("b", "c", "d", "e", "f");
+        harness.receive("b", alive("b", "b:1"));
+        for (String reporter : reporters) {
+            harness.receiveReport(reporter, 1, HealthReport.State.OPEN);
+        }
+        harness.updateReports();
+        assertEquals(1, harness.suspicion(1), 1e-9);
+
+        reporters.forEach(agent::remove);
+        harness.updateReports();
+        assertEquals(0, harness.suspicion(1));
+        assertEquals(1, agent.membership().presentCount());
+        assertEquals(List.of(), agent.fullState(false, harness.nowNs).reports());
     }
 }
--- a/src/test/java/elderseam/gossip/HealthReportTableTest.java
+++ b/src/test/java/elderseam/gossip/HealthReportTableTest.java
@@ -17,152 +17,122 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 
-/** The merge of claims as a join semilattice, what one claim is worth, and what two buckets let pass. */
+/** The merge of health reports as a join semilattice, their expiry and their bounds. */
 class HealthReportTableTest {
-    private static final long S = 1_000_000_000L;
-    private static final Comparator<HealthReport> ALL = Comparator.comparing(HealthReport::reporter)
+    private static final long SECOND_NS = 1_000_000_000L;
+    private static final int UNBOUNDED = 100; // more than any test's destinations
+    private static final int MAX_DESTINATIONS = 10;
+    private static final Comparator<HealthReport> BY_ALL_FIELDS = Comparator.comparing(HealthReport::reporter)
             .thenComparingLong(HealthReport::destination)
-            .thenComparing(HealthReport.AGE);
+            .thenComparing(HealthReport.BY_AGE);
+
+    // ---------------------------------------------------------------- merging
 
     @Provide
-    Arbitrary<List<HealthReport>> claims() {
-        Arbitrary<HealthReport> claim = Combinators.combine(
+    Arbitrary<List<HealthReport>> reports() {
+        Arbitrary<HealthReport> report = Combinators.combine(
                         Arbitraries.of("a", "b", "c"),
                         Arbitraries.longs().between(0, 2),
                         Arbitraries.longs().between(0, 3),
                         Arbitraries.longs().between(1, 3),
                         Arbitraries.of(HealthReport.State.class),
                         Arbitraries.integers().between(0, 2))
-                .as((r, i, n, d, state, wait) -> new HealthReport(r, i, n, d, state, wait, 4, wait, 1));
-        return claim.list().ofMaxSize(12);
+                .as((reporter, incarnation, sequence, destination, state, retryAfterMs) -> new HealthReport(
+                        reporter, incarnation, sequence, destination, state, retryAfterMs, 4, retryAfterMs, 1));
+        return report.list().ofMaxSize(12);
     }
 
-    private static HealthReportTable of(List<HealthReport> claims) {
-        HealthReportTable c = new HealthReportTable(100);
-        claims.forEach(x -> c.hear(x, 0));
-        return c;
+    private static HealthReportTable tableOf(List<HealthReport> reports) {
+        HealthReportTable table = new HealthReportTable(UNBOUNDED);
+        reports.forEach(report -> table.add(report, 0));
+        return table;
     }
 
-    private static Set<HealthReport> held(HealthReportTable c) {
-        Set<HealthReport> all = new TreeSet<>(ALL);
-        all.addAll(c.all());
-        return all;
+    private static Set<HealthReport> held(HealthReportTable table) {
+        Set<HealthReport> reports = new TreeSet<>(BY_ALL_FIELDS);
+        reports.addAll(table.all());
+        return reports;
     }
 
-    private static Set<HealthReport> merged(HealthReportTable a, HealthReportTable b) {
-        HealthReportTable c = of(a.all());
-        b.all().forEach(x -> c.hear(x, 0));
-        return held(c);
+    private static HealthReportTable merge(HealthReportTable first, HealthReportTable second) {
+        HealthReportTable merged = tableOf(first.all());
+        second.all().forEach(report -> merged.add(report, 0));
+        return merged;
     }
 
     @Property
-    void mergingIsCommutative(@ForAll("claims") List<HealthReport> a, @ForAll("claims") List<HealthReport> b) {
-        assertEquals(merged(of(a), of(b)), merged(of(b), of(a)));
+    void mergingIsCommutative(
+            @ForAll("reports") List<HealthReport> first, @ForAll("reports") List<HealthReport> second) {
+        assertEquals(held(merge(tableOf(first), tableOf(second))), held(merge(tableOf(second), tableOf(first))));
     }
 
     @Property
     void mergingIsAssociative(
-            @ForAll("claims") List<HealthReport> a,
-            @ForAll("claims") List<HealthReport> b,
-            @ForAll("claims") List<HealthReport> c) {
-        HealthReportTable ab = of(List.copyOf(merged(of(a), of(b)))), bc = of(List.copyOf(merged(of(b), of(c))));
-        assertEquals(merged(ab, of(c)), merged(of(a), bc));
+            @ForAll("reports") List<HealthReport> first,
+            @ForAll("reports") List<HealthReport> second,
+            @ForAll("reports") List<HealthReport> third) {
+        HealthReportTable firstTwo = merge(tableOf(first), tableOf(second));
+        HealthReportTable lastTwo = merge(tableOf(second), tableOf(third));
+        assertEquals(held(merge(firstTwo, tableOf(third))), held(merge(tableOf(first), lastTwo)));
     }
 
     @Property
-    void mergingIsIdempotent(@ForAll("claims") List<HealthReport> a) {
-        assertEquals(held(of(a)), merged(of(a), of(a)));
+    void mergingIsIdempotent(@ForAll("reports") List<HealthReport> reports) {
+        assertEquals(held(tableOf(reports)), held(merge(tableOf(reports), tableOf(reports))));
     }
 
-    /** Whatever order, and however often, the newest of each reporter and destination is what is held. */
+    /** Whatever the order of arrival. */
     @Property
-    void theNewestOfEachIsHeld(@ForAll("claims") List<HealthReport> a) {
-        for (HealthReport held : of(a).all()) {
-            assertTrue(a.stream()
-                    .filter(c -> c.reporter().equals(held.reporter()) && c.destination() == held.destination())
-                    .allMatch(c -> HealthReport.AGE.compare(c, held) <= 0));
+    void theNewestOfEachReporterAndDestinationIsHeld(@ForAll("reports") List<HealthReport> reports) {
+        for (HealthReport held : tableOf(reports).all()) {
+            assertTrue(reports.stream()
+                    .filter(report ->
+                            report.reporter().equals(held.reporter()) && report.destination() == held.destination())
+                    .allMatch(report -> HealthReport.BY_AGE.compare(report, held) <= 0));
         }
     }
 
-    private static HealthReport open(String reporter, long number, long destination) {
-        return new HealthReport(reporter, 1, number, destination, HealthReport.State.OPEN, 3_000, 20, 15, 10_000);
+    // ---------------------------------------------------------------- expiry and bounds
+
+    private static HealthReport openReport(String reporter, long sequence, long destination) {
+        return new HealthReport(reporter, 1, sequence, destination, HealthReport.State.OPEN, 3_000, 20, 15, 10_000);
     }
 
-    /** It counts for ten seconds from when it was heard; an older one does not come back after it. */
+    /** A report is current for ten seconds from when it was received; an older one does not return after it. */
     @Example
-    void claimsExpireByTheHoldersClock() {
-        HealthReportTable c = new HealthReportTable(10);
-        assertTrue(c.hear(open("a", 2, 1), 0));
-        assertEquals(2_000_000_000L, c.waitNs(open("a", 2, 1), S));
-        assertEquals(0, c.waitNs(open("a", 2, 1), 4 * S));
-        assertEquals(1, c.of(1, HealthReportTable.TTL_NS - 1).size());
-        assertEquals(0, c.of(1, HealthReportTable.TTL_NS).size());
-        assertFalse(c.hear(open("a", 1, 1), HealthReportTable.TTL_NS + 1), "older than one that was held");
-        c.sweep(HealthReportTable.KEEP_NS);
-        assertEquals(0, c.all().size());
+    void reportsExpireByTheHoldersClock() {
+        HealthReportTable table = new HealthReportTable(MAX_DESTINATIONS);
+        HealthReport report = openReport("a", 2, 1);
+        assertTrue(table.add(report, 0));
+        assertEquals(2 * SECOND_NS, table.remainingRetryAfterNs(report, SECOND_NS));
+        assertEquals(0, table.remainingRetryAfterNs(report, 4 * SECOND_NS));
+        assertEquals(1, table.currentReports(1, HealthReportTable.TTL_NS - 1).size());
+        assertEquals(0, table.currentReports(1, HealthReportTable.TTL_NS).size());
+        assertFalse(table.add(openReport("a", 1, 1), HealthReportTable.TTL_NS + 1), "older than one that was held");
+        table.removeOutdated(HealthReportTable.RETENTION_NS);
+        assertEquals(0, table.all().size());
     }
 
-    /** A reporter that speaks of ever new destinations keeps the newest ones alone. */
+    /** Of a reporter with ever new destinations only the newest reports are held. */
     @Example
-    void oneReporterHasABound() {
-        HealthReportTable c = new HealthReportTable(10);
+    void eachReporterHasABound() {
+        HealthReportTable table = new HealthReportTable(MAX_DESTINATIONS);
         for (int i = 0; i < 1_000; i++) {
-            c.hear(open("a", i, i), 0);
-            c.hear(open("b", 1, i % 5), 0);
+            table.add(openReport("a", i, i), 0);
+            table.add(openReport("b", 1, i % 5), 0);
         }
-        assertEquals(15, c.all().size());
-        assertEquals(
-                List.of("a"), c.of(999, 0).stream().map(HealthReport::reporter).toList());
-        assertThrows(
-                IllegalArgumentException.class,
-                () -> new HealthReport("a", 1, 1, 1, HealthReport.State.OPEN, 0, 3, 4, 1));
-    }
-
-    /** One alone does nothing, whatever it says; several do, and never more than doubt. */
-    @Example
-    void oneReporterAloneIsBelowTheLeastEffect() {
-        HealthEstimator advice = new HealthEstimator();
-        assertEquals(0, advice.doubt(List.of(open("a", 1, 1)), 0, 0, 0));
-        double two = advice.doubt(List.of(open("a", 1, 1), open("b", 1, 1)), 0, 0, 0);
-        double five = advice.doubt(
-                List.of(open("a", 1, 1), open("b", 1, 1), open("c", 1, 1), open("d", 1, 1), open("e", 1, 1)), 0, 0, 0);
-        assertTrue(two > 0 && two < five && five <= 1, two + " " + five);
+        assertEquals(MAX_DESTINATIONS + 5, table.all().size());
         assertEquals(
-                0,
-                advice.doubt(List.of(new HealthReport("a", 1, 1, 1, HealthReport.State.CLOSED, 0, 9, 9, 1)), 0, 0, 0));
+                List.of("a"),
+                table.currentReports(999, 0).stream()
+                        .map(HealthReport::reporter)
+                        .toList());
     }
 
-    /** A majority that lies for ever loses its worth by own calls, once for each claim, and regains it slowly. */
     @Example
-    void liarsLoseTheirWorth() {
-        HealthEstimator advice = new HealthEstimator();
-        long now = 0;
-        for (int i = 0; i < 5; i++, now += S) {
-            List<HealthReport> lies = List.of(open("a", i, 1), open("b", i, 1), open("c", i, 1));
-            assertEquals(0, advice.doubt(lies, 20, 20, now), "own calls are answered well");
-            assertEquals(0, advice.doubt(lies, 20, 20, now), "the same claims again cost nothing more");
-        }
-        assertTrue(advice.worth("a", now) < 0.05, "" + advice.worth("a", now));
-        assertEquals(0, advice.doubt(List.of(open("a", 9, 2), open("b", 9, 2), open("c", 9, 2)), 0, 0, now));
-        assertTrue(advice.worth("a", now + 60 * S) < 0.2);
-        assertTrue(advice.worth("a", now + 3_600 * S) > 0.9);
-        assertEquals(HealthEstimator.START, advice.worth("d", now));
-    }
-
-    /** Ten thousand datagrams in a second: a second's worth and what the second adds leave, the rest is counted. */
-    @Example
-    void theCeilingBinds() {
-        SendRateLimiter ceiling = new SendRateLimiter(10_000, 20, 0);
-        int left = 0;
-        for (int i = 0; i < 10_000; i++) {
-            left += ceiling.take(100, i * S / 10_000) ? 1 : 0;
-        }
-        assertEquals(39, left);
-        assertEquals(10_000 - 39, ceiling.refused());
-        int large = 0;
-        for (int i = 0; i < 1_000; i++) {
-            large += ceiling.take(1_400, 10 * S + i * S / 1_000) ? 1 : 0;
-        }
-        assertEquals(14, large, "by bytes: a second's worth and one second's more");
+    void moreFailuresThanCallsAreNoReport() {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new HealthReport("a", 1, 1, 1, HealthReport.State.OPEN, 0, 3, 4, 1));
     }
 }
