--- a/src/main/java/elderseam/gossip/HealthEstimator.java
+++ b/src/main/java/elderseam/gossip/HealthEstimator.java
@@ -14,7 +14,7 @@
  * for each report, and regains it with a time constant of ten minutes. So a member that always lies is worth nothing after a few
  * reports, and one that erred is heard again within the hour.
  */
-public final class HealthEstimator {
+final class HealthEstimator {
     /** Credibility of a reporter that was never contradicted. */
     static final double INITIAL_CREDIBILITY = 0.8;
 
@@ -47,7 +47,7 @@
     private final Map<String, Credibility> byReporter = new HashMap<>();
 
     /** Returns a reporter's credibility now, 0 to 1. */
-    public double credibility(String reporter, long nowNs) {
+    double credibility(String reporter, long nowNs) {
         Credibility credibility = byReporter.get(reporter);
         if (credibility == null) {
             return INITIAL_CREDIBILITY;
@@ -65,7 +65,7 @@
      * @param ownCalls this member's calls within {@link HealthReport#WINDOW_MS}
      * @param ownDelivered how many of these were delivered
      */
-    public double suspicion(List<HealthReport> reports, int ownCalls, int ownDelivered, long nowNs) {
+    double suspicion(List<HealthReport> reports, int ownCalls, int ownDelivered, long nowNs) {
         boolean contradicted =
                 ownCalls >= MIN_CONTRADICTING_CALLS && ownDelivered >= CONTRADICTING_DELIVERED_SHARE * ownCalls;
         double sum = 0;
@@ -109,7 +109,7 @@
      * Returns how many members are about to make a trial call to the destination, this one included: those that report an open
      * or half-open breaker, weighed by credibility. Trial calls are spread over that many sleep windows.
      */
-    public double probers(List<HealthReport> reports, long nowNs) {
+    double probers(List<HealthReport> reports, long nowNs) {
         double sum = 1;
         for (HealthReport report : reports) {
             if (report.state() != HealthReport.State.CLOSED) {
@@ -120,7 +120,7 @@
     }
 
     /** Forgets a member that is not on the roster any more. */
-    public void remove(String reporter) {
+    void remove(String reporter) {
         byReporter.remove(reporter);
     }
 }
--- a/src/main/java/elderseam/gossip/HealthReportTable.java
+++ b/src/main/java/elderseam/gossip/HealthReportTable.java
@@ -16,11 +16,11 @@
  *
  * <p>Bounded by a number of destinations for each reporter; the caller bounds the reporters by a roster.
  */
-public final class HealthReportTable {
+final class HealthReportTable {
     /** For how long a report is current, from when it was received. */
-    public static final long TTL_NS = TimeUnit.SECONDS.toNanos(10);
+    static final long TTL_NS = TimeUnit.SECONDS.toNanos(10);
     /** For how long a report is remembered against older ones, from when it was received. */
-    public static final long RETENTION_NS = TimeUnit.SECONDS.toNanos(120);
+    static final long RETENTION_NS = TimeUnit.SECONDS.toNanos(120);
 
     private record Entry(HealthReport report, long receivedAtNs) {
         boolean isCurrent(long nowNs) {
@@ -36,12 +36,12 @@
     private final Map<String, Map<Long, Entry>> byReporter = new HashMap<>();
 
     /** Starts empty. */
-    public HealthReportTable(int maxDestinationsPerReporter) {
+    HealthReportTable(int maxDestinationsPerReporter) {
         this.maxDestinationsPerReporter = maxDestinationsPerReporter;
     }
 
     /** Adds the report if it is newer than what is held; whether it was added. A full reporter loses its oldest report. */
-    public boolean add(HealthReport report, long nowNs) {
+    boolean add(HealthReport report, long nowNs) {
         Map<Long, Entry> byDestination = byReporter.computeIfAbsent(report.reporter(), reporter -> new HashMap<>());
         Entry held = byDestination.get(report.destination());
         if (held != null && !held.isOlderThan(report)) {
@@ -74,7 +74,7 @@
     }
 
     /** Whether the report is newer than what is held of its reporter and destination. */
-    public boolean isNewer(HealthReport report) {
+    boolean isNewer(HealthReport report) {
         Entry held = held(report);
         return held == null || held.isOlderThan(report);
     }
@@ -111,7 +111,7 @@
     }
 
     /** Returns the current reports of one destination. */
-    public List<HealthReport> currentReports(long destination, long nowNs) {
+    List<HealthReport> currentReports(long destination, long nowNs) {
         List<HealthReport> reports = new ArrayList<>();
         for (Map<Long, Entry> entries : byReporter.values()) {
             Entry entry = entries.get(destination);
@@ -123,7 +123,7 @@
     }
 
     /** Returns what is left of the Retry-After of a held report, in nanoseconds by this clock; 0 if it is over. */
-    public long remainingRetryAfterNs(HealthReport report, long nowNs) {
+    long remainingRetryAfterNs(HealthReport report, long nowNs) {
         Entry held = held(report);
         if (held == null) {
             return 0;
@@ -133,14 +133,14 @@
     }
 
     /** Returns every report that is held, also expired ones. */
-    public List<HealthReport> all() {
+    List<HealthReport> all() {
         List<HealthReport> reports = new ArrayList<>();
         byReporter.values().forEach(entries -> entries.values().forEach(entry -> reports.add(entry.report)));
         return reports;
     }
 
     /** Removes the reports that need not be remembered any more. */
-    public void removeOutdated(long nowNs) {
+    void removeOutdated(long nowNs) {
         Iterator<Map<Long, Entry>> reporters = byReporter.values().iterator();
         while (reporters.hasNext()) {
             Map<Long, Entry> entries = reporters.next();
@@ -152,7 +152,7 @@
     }
 
     /** Removes all reports of a member that is not on the roster any more. */
-    public void removeReporter(String reporter) {
+    void removeReporter(String reporter) {
         byReporter.remove(reporter);
     }
 }
--- a/src/main/java/elderseam/gossip/security/Envelope.java
+++ b/src/main/java/elderseam/gossip/security/Envelope.java
@@ -41,7 +41,8 @@
     // ---------------------------------------------------------------- writing
 
     /** Returns a signed envelope of this member. */
-    static byte[] seal(byte kind, String sender, Keyring keyring, long token, long sequence, long wallMs, byte[] body) {
+    static byte[] signed(
+            byte kind, String sender, Keyring keyring, long token, long sequence, long wallMs, byte[] body) {
         byte[] name = sender.getBytes(StandardCharsets.US_ASCII);
         ByteBuffer out = ByteBuffer.allocate(MIN_BYTES + name.length + body.length);
         out.putInt(MAGIC | kind);
--- a/src/main/java/elderseam/gossip/security/EnvelopeDropReason.java
+++ b/src/main/java/elderseam/gossip/security/EnvelopeDropReason.java
@@ -1,6 +1,6 @@
 package elderseam.gossip.security;
 
-/** Why an envelope was dropped; in the order of the checks, the cheaper ones first. */
+/** Why an envelope was dropped. The cheaper checks come first; signatures are verified last. */
 public enum EnvelopeDropReason {
     /** It has not the form of an envelope. */
     FORM("form"),
--- a/src/main/java/elderseam/gossip/security/PacketAuthenticator.java
+++ b/src/main/java/elderseam/gossip/security/PacketAuthenticator.java
@@ -52,9 +52,9 @@
     // ---------------------------------------------------------------- sending
 
     /** Returns a signed envelope for a member; {@code to} may be {@link #UNKNOWN_MEMBER}, which will answer with a hello. */
-    public byte[] seal(String to, byte[] body, long wallMs, long nowNs) {
+    public byte[] sign(String to, byte[] body, long wallMs, long nowNs) {
         PeerSession session = session(to, nowNs);
-        return Envelope.seal(Envelope.DATA, self, keyring, session.peerToken(), session.nextSequence(), wallMs, body);
+        return Envelope.signed(Envelope.DATA, self, keyring, session.peerToken(), session.nextSequence(), wallMs, body);
     }
 
     /** Whether the member has handed out its token: else an envelope only makes it answer with a hello. */
@@ -133,7 +133,7 @@
             return OpenResult.Dropped.INSTANCE;
         }
         byte[] body = Envelope.helloBody(session.offerToken(random), envelope.token(), envelope.sequence());
-        return new OpenResult.TokenOffered(Envelope.seal(Envelope.HELLO, self, keyring, 0, 0, wallMs, body));
+        return new OpenResult.TokenOffered(Envelope.signed(Envelope.HELLO, self, keyring, 0, 0, wallMs, body));
     }
 
     /** Accepts a hello that answers an envelope to that member, or one to a seed whose name was not known. */
--- a/src/main/java/elderseam/gossip/transport/GossipTransport.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -139,18 +139,18 @@
         if (!authenticator.hasToken(to)) {
             unopenedBodies.put(to, body);
         }
-        datagrams.send(address, seal(to, body));
+        datagrams.send(address, sign(to, body));
     }
 
-    private byte[] seal(String to, byte[] body) {
-        return authenticator.seal(to, body, wallMs(), io.clock.now());
+    private byte[] sign(String to, byte[] body) {
+        return authenticator.sign(to, body, wallMs(), io.clock.now());
     }
 
     private void exchangeState(String address) {
         String member = agent.membership().nameAt(address).orElse(PacketAuthenticator.UNKNOWN_MEMBER);
         Packet state = agent.fullState(false, io.clock.now());
         byte[] body = PacketCodec.encode(state, Packet.MAX_FULL_STATE_BYTES);
-        streams.connect(MemberAddresses.parse(address), body, () -> seal(member, body));
+        streams.connect(MemberAddresses.parse(address), body, () -> sign(member, body));
     }
 
     private void scheduleTick() {
@@ -224,7 +224,7 @@
             receiveState(connection, opened, nowNs);
         } else if (result instanceof OpenResult.HelloAccepted accepted) {
             if (connection.resendBody() != null) {
-                connection.send(seal(accepted.sender(), connection.resendBody()));
+                connection.send(sign(accepted.sender(), connection.resendBody()));
             }
         } else if (result instanceof OpenResult.TokenOffered offered) {
             connection.send(offered.hello());
@@ -239,7 +239,7 @@
         if (answer.isPresent()) {
             byte[] body = PacketCodec.encode(answer.get(), Packet.MAX_FULL_STATE_BYTES);
             connection.setResendBody(body);
-            connection.send(seal(opened.sender(), body));
+            connection.send(sign(opened.sender(), body));
         } else {
             connection.closeWhenSent();
         }
--- a/src/test/java/elderseam/gossip/security/EnvelopeCompatTest.java
+++ b/src/test/java/elderseam/gossip/security/EnvelopeCompatTest.java
@@ -91,8 +91,8 @@
         return new PacketAuthenticator(name, new Keyring(key, roster), () -> RANDOM, NOW_NS);
     }
 
-    private static byte[] seal(PacketAuthenticator sender, String to) {
-        return sender.seal(to, BODY, WALL_MS, NOW_NS);
+    private static byte[] signed(PacketAuthenticator sender, String to) {
+        return sender.sign(to, BODY, WALL_MS, NOW_NS);
     }
 
     private static <R extends OpenResult> R open(
@@ -115,11 +115,11 @@
     private List<byte[]> write(byte[] report) {
         PacketAuthenticator a = start("a", keyA);
         PacketAuthenticator b = start("b", keyB);
-        byte[] first = seal(a, "b");
+        byte[] first = signed(a, "b");
         byte[] hello = open(OpenResult.TokenOffered.class, b, addressA, first).hello();
         assertEquals(
                 "b", open(OpenResult.HelloAccepted.class, a, addressB, hello).sender());
-        byte[] data = seal(a, "b");
+        byte[] data = signed(a, "b");
         byte[] signature = new Keyring(keyA, roster).sign(report);
         return List.of(first, hello, data, signature);
     }
@@ -133,7 +133,7 @@
         PacketAuthenticator b = start("b", keyB);
         assertArrayEquals(
                 hello, open(OpenResult.TokenOffered.class, b, addressA, first).hello());
-        seal(a, "b");
+        signed(a, "b");
         assertEquals(
                 "b", open(OpenResult.HelloAccepted.class, a, addressB, hello).sender());
         OpenResult.Opened opened = open(OpenResult.Opened.class, b, addressA, data);
--- a/src/test/java/elderseam/gossip/security/PacketAuthenticatorTest.java
+++ b/src/test/java/elderseam/gossip/security/PacketAuthenticatorTest.java
@@ -67,12 +67,12 @@
         return PacketCodec.encode(packet, 100);
     }
 
-    private byte[] seal(PacketAuthenticator sender, String to, long sequence) {
-        return sender.seal(to, body(sequence), WALL_MS, nowNs);
+    private byte[] signed(PacketAuthenticator sender, String to, long sequence) {
+        return sender.sign(to, body(sequence), WALL_MS, nowNs);
     }
 
-    private byte[] sealFromA(long sequence) {
-        return seal(a, "b", sequence);
+    private byte[] signedByA(long sequence) {
+        return signed(a, "b", sequence);
     }
 
     private OpenResult open(PacketAuthenticator receiver, InetAddress from, byte[] envelope) {
@@ -113,16 +113,16 @@
 
     /** The first envelope of a is answered by a hello, the second one opens. */
     private void introduceAToB() {
-        assertHelloAcceptedAtA(helloOfB(sealFromA(0)));
+        assertHelloAcceptedAtA(helloOfB(signedByA(0)));
         assertTrue(a.hasToken("b"));
-        assertEquals(new Message.Ack(1), assertOpensAtB(sealFromA(1)));
+        assertEquals(new Message.Ack(1), assertOpensAtB(signedByA(1)));
     }
 
     // ---------------------------------------------------------------- hellos
 
     @Test
     void aHelloIsHardlyLargerThanTheFirstEnvelope() {
-        byte[] first = sealFromA(0);
+        byte[] first = signedByA(0);
         byte[] hello = helloOfB(first);
         assertTrue(hello.length <= first.length + 24, hello.length + " for " + first.length);
         introduceAToB();
@@ -130,21 +130,21 @@
 
     @Test
     void aHelloIsAcceptedOnceAndOnlyAsAnAnswer() {
-        byte[] hello = helloOfB(sealFromA(0));
+        byte[] hello = helloOfB(signedByA(0));
         assertHelloAcceptedAtA(hello);
         assertInstanceOf(OpenResult.Dropped.class, openAtA(hello));
 
         PacketAuthenticator restartedA = start("a", keyA);
-        seal(restartedA, "b", 1);
+        signed(restartedA, "b", 1);
         assertInstanceOf(OpenResult.Dropped.class, open(restartedA, addressB, hello));
         assertEquals(1, restartedA.dropCount(EnvelopeDropReason.HELLO));
-        assertOpensAtB(sealFromA(1));
+        assertOpensAtB(signedByA(1));
     }
 
     @Test
     void aSeedTellsItsName() {
-        assertHelloAcceptedAtA(helloOfB(seal(a, PacketAuthenticator.UNKNOWN_MEMBER, 1)));
-        assertOpensAtB(sealFromA(1));
+        assertHelloAcceptedAtA(helloOfB(signed(a, PacketAuthenticator.UNKNOWN_MEMBER, 1)));
+        assertOpensAtB(signedByA(1));
     }
 
     // ---------------------------------------------------------------- replay
@@ -155,7 +155,7 @@
         introduceAToB();
         List<byte[]> envelopes = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
-            envelopes.add(sealFromA(i));
+            envelopes.add(signedByA(i));
         }
         for (int i = 39; i >= 0; i -= 2) {
             assertOpensAtB(envelopes.get(i));
@@ -170,11 +170,11 @@
     @Test
     void anEnvelopeBeforeTheWindowIsDropped() {
         introduceAToB();
-        byte[] old = sealFromA(1);
+        byte[] old = signedByA(1);
         for (int i = 0; i < 1_100; i++) {
-            sealFromA(i);
+            signedByA(i);
         }
-        assertOpensAtB(sealFromA(2));
+        assertOpensAtB(signedByA(2));
         assertDroppedAtB(EnvelopeDropReason.REPLAYED, old);
     }
 
@@ -182,7 +182,7 @@
     @Test
     void aRestartOfTheReceiverAllowsNoReplay() {
         introduceAToB();
-        byte[] recorded = sealFromA(2);
+        byte[] recorded = signedByA(2);
         b = start("b", keyB);
         assertFalse(openAtB(recorded) instanceof OpenResult.Opened);
         introduceAToB();
@@ -193,7 +193,7 @@
     @Test
     void aRestartOfTheSenderEndsItsEarlierToken() {
         introduceAToB();
-        byte[] recorded = sealFromA(2);
+        byte[] recorded = signedByA(2);
         a = start("a", keyA);
         introduceAToB();
         assertDroppedAtB(EnvelopeDropReason.TOKEN, recorded);
@@ -204,12 +204,12 @@
     @Test
     void aSenderNeedsItsNameItsKeyAndItsAddress() {
         introduceAToB();
-        byte[] genuine = sealFromA(2);
+        byte[] genuine = signedByA(2);
         assertFalse(open(b, addressB, genuine) instanceof OpenResult.Opened);
         assertEquals(1, b.dropCount(EnvelopeDropReason.ADDRESS));
-        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_KEY, seal(start("a", keyC), "b", 1));
-        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, seal(start("x", keyC), "b", 1));
-        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, seal(b, "a", 1)); // its own name
+        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_KEY, signed(start("a", keyC), "b", 1));
+        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, signed(start("x", keyC), "b", 1));
+        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, signed(b, "a", 1)); // its own name
         assertOpensAtB(genuine); // none of that has done harm
         assertEquals(1, b.dropCountFrom(addressB));
     }
@@ -217,7 +217,7 @@
     @Test
     void anyChangedByteIsNoticed() {
         introduceAToB();
-        byte[] genuine = sealFromA(2);
+        byte[] genuine = signedByA(2);
         for (int i = 0; i < genuine.length; i++) {
             byte[] changed = genuine.clone();
             changed[i] ^= 1;
@@ -250,7 +250,7 @@
     @Test
     void verificationsAreLimited() {
         introduceAToB();
-        byte[] spoilt = sealFromA(2);
+        byte[] spoilt = signedByA(2);
         spoilt[spoilt.length - 1] ^= 1;
         for (int i = 0; i < 1_000; i++) {
             openAtB(spoilt);
@@ -265,7 +265,7 @@
         introduceAToB();
         int hellos = 0;
         for (int i = 0; i < 1_000; i++) {
-            byte[] first = seal(start("a", keyA), "b", 1);
+            byte[] first = signed(start("a", keyA), "b", 1);
             hellos += openAtB(first) instanceof OpenResult.TokenOffered ? 1 : 0;
         }
         assertTrue(hellos <= 2, hellos + " hellos at one instant");
@@ -287,19 +287,19 @@
         roster = roster("a 127.1.0.0/16 " + keyC.publicKeyText(), lineB);
         b = start("b", keyB);
         introduceAToB();
-        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_KEY, seal(start("a", keyA), "b", 1));
+        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_KEY, signed(start("a", keyA), "b", 1));
     }
 
     @Test
     void aMemberThatWasTakenOffTheRosterIsUnknown() throws Exception {
         introduceAToB();
-        byte[] genuine = sealFromA(2);
+        byte[] genuine = signedByA(2);
         Keyring keyring = new Keyring(keyB, roster);
         b = new PacketAuthenticator("b", keyring, new SplittableRandom(9), nowNs);
         introduceAToB();
         keyring.setRoster(roster("b 127.2.0.1 " + keyB.publicKeyText()));
         b.remove("a");
         assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, genuine);
-        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, sealFromA(3));
+        assertDroppedAtB(EnvelopeDropReason.UNKNOWN_SENDER, signedByA(3));
     }
 }
