--- a/src/test/java/elderseam/frontend/cloudevents/EventAttemptSenderTest.java
+++ b/src/test/java/elderseam/frontend/cloudevents/EventAttemptSenderTest.java
@@ -25,9 +25,9 @@
         "299, DELIVERED",
         "300, ERROR",
         "400, ERROR",
-        "429, FULL",
+        "429, OVERLOADED",
         "500, ERROR",
-        "503, FULL"
+        "503, OVERLOADED"
     })
     void theCodeSaysTheStatus(int code, Status status) {
         assertEquals(status, classify(code, "").status());
@@ -36,7 +36,7 @@
     @ParameterizedTest
     @CsvSource({"429, 2, 2000000000", "503, 0.25, 250000000", "503, -1, 0", "503, tomorrow, 0", "500, 2, 0"})
     void onlyAnOverloadedEndpointSetsARetryAfter(int code, String retryAfter, long waitNs) {
-        assertEquals(waitNs, classify(code, retryAfter).waitNs());
+        assertEquals(waitNs, classify(code, retryAfter).retryAfterNs());
     }
 
     @Test
--- a/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
+++ b/src/test/java/elderseam/frontend/platform/ResponseClassificationTest.java
@@ -49,13 +49,13 @@
     @Test
     void onlyAnOverloadedEndpointSetsARetryAfter() {
         Map<String, String> wait = Map.of("X-RateLimit-Wait-Ms", "350");
-        assertEquals(350_000_000L, classify(429, wait).waitNs());
-        assertEquals(0, classify(200, wait).waitNs());
+        assertEquals(350_000_000L, classify(429, wait).retryAfterNs());
+        assertEquals(0, classify(200, wait).retryAfterNs());
     }
 
     @Test
     void anEndlessRetryAfterDoesNotOverflow() {
-        assertTrue(classify(429, Map.of("X-RateLimit-Wait-Ms", "1e300")).waitNs() > 0);
+        assertTrue(classify(429, Map.of("X-RateLimit-Wait-Ms", "1e300")).retryAfterNs() > 0);
     }
 
     @Test
@@ -73,8 +73,8 @@
     @Test
     void aLoadReportIsReadByTheNamesOfItsFields() {
         AttemptOutcome outcome = classify(200, Map.of("X-Pressure", "TEXT x0=0.4, x1=25"));
-        assertEquals(0.4, outcome.shareLeft());
-        assertEquals(25.0, outcome.limitPerS());
+        assertEquals(0.4, outcome.headroom());
+        assertEquals(25.0, outcome.limitPerSecond());
     }
 
     @ParameterizedTest
@@ -89,7 +89,7 @@
             })
     void aMalformedLoadReportIsIgnored(String report) {
         AttemptOutcome outcome = classify(200, Map.of("X-Pressure", report));
-        assertEquals(0.0, outcome.shareLeft());
-        assertEquals(0.0, outcome.limitPerS());
+        assertEquals(0.0, outcome.headroom());
+        assertEquals(0.0, outcome.limitPerSecond());
     }
 }
--- a/src/test/java/elderseam/policy/PolicyParts.java
+++ b/src/test/java/elderseam/policy/PolicyParts.java
@@ -122,7 +122,10 @@
         actions.add("subscribe");
     }
 
-    /** Logs are no actions. */
+    /** Reports of breakers are no actions. */
     @Override
-    public void log(String words) {}
+    public void breakerOpened(String breaker, String cause) {}
+
+    @Override
+    public void breakerClosed(String breaker) {}
 }
