Control: commands are parsed apart, and each CONFIG verb is a type of its own

Cause: the command record held its decoder, and CONFIG carried two numbers and three texts whose meaning depended on a verb; members were named in house words. Change: OperatorCommandParser decodes; ConfigStatus, ConfigDiff, ConfigPropose and ConfigRollback replace the verb; CommandResult says accepted or rejected; constants and doc comments. Lines of the control address are the same.

--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -319,9 +319,9 @@
 
     private CommandResult answer(OperatorCommands operators, OperatorCommand command) {
         if (transfer.state() == HandoverSender.State.TRANSFERRING && !(command instanceof OperatorCommand.Info)) {
-            return CommandResult.no("this process passes its work on; ask the newer one, or again");
+            return CommandResult.rejected("this process passes its work on; ask the newer one, or again");
         }
-        return operators.carryOut(command);
+        return operators.execute(command);
     }
 
     /** On SIGTERM, on the shutdown hook's thread: whatever the JVM was told, the process exits with 0. */
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -308,15 +308,15 @@
     CommandResult answer(OperatorCommand.Fleet command) {
         LeaseGroup startedGroup = group;
         if (startedGroup == null || renewer == null) {
-            return CommandResult.no("the fleet's engine starts yet");
+            return CommandResult.rejected("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
             return changeMembers(startedGroup, command.members());
         }
         try {
-            return new CommandResult(true, "fleet", status(startedGroup));
+            return CommandResult.accepted("fleet", status(startedGroup));
         } catch (IOException e) {
-            return CommandResult.no("the fleet's engine: " + e.getMessage());
+            return CommandResult.rejected("the fleet's engine: " + e.getMessage());
         }
     }
 
@@ -325,7 +325,7 @@
         var unused = group.changeMembers(members)
                 .whenComplete((done, failure) -> System.err.println("fleet: members " + names
                         + (failure == null ? " agreed" : ": not agreed: " + failure.getMessage())));
-        return CommandResult.yes("asked; FLEET tells when it is so");
+        return CommandResult.accepted("asked; FLEET tells when it is so");
     }
 
     private List<String> status(LeaseGroup startedGroup) throws IOException {
--- a/src/main/java/elderseam/app/VersionCommands.java
+++ b/src/main/java/elderseam/app/VersionCommands.java
@@ -45,21 +45,25 @@
 
     CommandResult answer(OperatorCommand.Config command) {
         LeaseStateMachine.VersionView applied = group.localVersions();
-        return switch (command.verb()) {
-            case STATUS -> new CommandResult(true, "config", status(applied));
-            case DIFF -> diff(applied, command.a(), command.b());
-            case PROPOSE -> proposeFile(command);
-            case ROLLBACK -> rollBack(applied, command);
-        };
+        if (command instanceof OperatorCommand.ConfigDiff diff) {
+            return diff(applied, diff.fromVersion(), diff.toVersion());
+        }
+        if (command instanceof OperatorCommand.ConfigPropose proposal) {
+            return proposeFile(proposal);
+        }
+        if (command instanceof OperatorCommand.ConfigRollback rollback) {
+            return rollBack(applied, rollback);
+        }
+        return CommandResult.accepted("config", status(applied)); // ConfigStatus
     }
 
-    private CommandResult rollBack(LeaseStateMachine.VersionView applied, OperatorCommand.Config command) {
-        Optional<ConfigurationVersion> target = find(applied, command.a());
+    private CommandResult rollBack(LeaseStateMachine.VersionView applied, OperatorCommand.ConfigRollback command) {
+        Optional<ConfigurationVersion> target = find(applied, command.version());
         if (target.isEmpty()) {
-            return notKept(command.a());
+            return notKept(command.version());
         }
         ConfigurationVersion version = target.get();
-        String note = "back to " + command.a() + ": " + command.note();
+        String note = "back to " + command.version() + ": " + command.note();
         propose(applied.latest().number(), note, version.texts());
         return asked(version.shortHash());
     }
@@ -74,7 +78,7 @@
     }
 
     private static CommandResult notKept(long number) {
-        return CommandResult.no("version " + number + " is not kept");
+        return CommandResult.rejected("version " + number + " is not kept");
     }
 
     private static CommandResult diff(LeaseStateMachine.VersionView applied, long fromNumber, long toNumber) {
@@ -86,22 +90,22 @@
         if (to.isEmpty()) {
             return notKept(toNumber);
         }
-        return new CommandResult(true, "diff", VersionContent.diff(from.get(), to.get()));
+        return CommandResult.accepted("diff", VersionContent.diff(from.get(), to.get()));
     }
 
     /** Reads the operator's file on a thread of the common pool. */
-    private CommandResult proposeFile(OperatorCommand.Config command) {
+    private CommandResult proposeFile(OperatorCommand.ConfigPropose command) {
         var unused = CompletableFuture.runAsync(() -> readAndPropose(command));
         return asked(command.hash());
     }
 
     /** The command's hash is of what the operator's tool read: a file that has changed since is not proposed. */
-    private void readAndPropose(OperatorCommand.Config command) {
+    private void readAndPropose(OperatorCommand.ConfigPropose command) {
         try {
             Map<String, String> texts = VersionContent.read(Path.of(command.path()));
             String hash = ConfigurationVersion.shortHash(texts);
             if (hash.equals(command.hash())) {
-                propose(command.a(), command.note(), texts);
+                propose(command.parentVersion(), command.note(), texts);
             } else {
                 refuse(command.hash(), command.path() + " holds " + hash + " by now");
             }
@@ -111,7 +115,7 @@
     }
 
     private static CommandResult asked(String hash) {
-        return CommandResult.yes("asked " + hash + "; CONFIG tells what becomes of it");
+        return CommandResult.accepted("asked " + hash + "; CONFIG tells what becomes of it");
     }
 
     private void propose(long parent, String note, Map<String, String> texts) {
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -180,6 +180,6 @@
     /** Answers an operator's CONFIG command. */
     CommandResult answer(OperatorCommand.Config command) {
         VersionCommands started = commands;
-        return started == null ? CommandResult.no("the fleet's engine starts yet") : started.answer(command);
+        return started == null ? CommandResult.rejected("the fleet's engine starts yet") : started.answer(command);
     }
 }
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -19,72 +19,86 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * Listens on the second address: one line a connection, one answer, and it is closed. Lines, connections and the time that one
- * may stay open are bounded; a caller that stalls is a buffer and a timer on the I/O thread, and delays nobody.
+ * Listens on the control address: one line and one response per connection, which is then closed. The line's length, the
+ * number of connections and the time that one may stay open are bounded; a client that stalls costs a buffer and a timer,
+ * and delays nobody. Confined to the I/O thread, except the constructor.
  */
 public final class ControlServer {
-    private static final int MOST_OPEN = 24; // then the oldest gives way
-    private static final long OPEN_NS = 6_000 * Clock.MS; // for the line to be there, and the answer taken
+    /** With one more, the oldest connection is closed. */
+    private static final int MAX_CONNECTIONS = 24;
+
+    /** Within this time the line must arrive and the response be read. */
+    private static final long CONNECTION_LIFETIME_NS = 6_000 * Clock.MS;
+
+    private static final long NS_PER_S = 1_000 * Clock.MS;
+    private static final int ACCEPT_BACKLOG = 64;
+    private static final int EXPECTED_LINE_LENGTH = 32;
 
     private final IoLoop io;
-    private final AcceptingChannel<StreamConnection> accepting;
-    private final ByteBuffer buffer = ByteBuffer.allocate(OperatorCommand.MOST + 2);
-    private final Set<Caller> open = new LinkedHashSet<>(); // oldest first
-    private Function<OperatorCommand, CommandResult> handler = c -> CommandResult.no("starting");
+    private final AcceptingChannel<StreamConnection> acceptingChannel;
+    private final ByteBuffer readBuffer = ByteBuffer.allocate(OperatorCommandParser.MAX_LINE_BYTES + 2);
+    private final Set<Connection> connections = new LinkedHashSet<>(); // oldest first
+    private Function<OperatorCommand, CommandResult> handler = command -> CommandResult.rejected("starting");
 
+    /**
+     * Begins to listen. Until {@link #handler} is called, each command is answered that the process is starting.
+     *
+     * @throws IOException if the address can't be used
+     */
     public ControlServer(IoLoop io, InetSocketAddress address) throws IOException {
         this.io = io;
-        ChannelListener<StreamConnection> opened = Caller::new;
-        accepting = io.worker()
-                .createStreamConnectionServer(
-                        address,
-                        ChannelListeners.openListenerAdapter(opened),
-                        OptionMap.builder()
-                                .set(Options.REUSE_ADDRESSES, true)
-                                .set(Options.TCP_NODELAY, true)
-                                .set(Options.BACKLOG, 64)
-                                .getMap());
-        accepting.resumeAccepts();
+        ChannelListener<StreamConnection> onConnected = Connection::new;
+        OptionMap options = OptionMap.builder()
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.BACKLOG, ACCEPT_BACKLOG)
+                .getMap();
+        acceptingChannel = io.worker()
+                .createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(onConnected), options);
+        acceptingChannel.resumeAccepts();
     }
 
+    /** The address that is listened on, with the port that was bound. */
     public InetSocketAddress address() {
-        return accepting.getLocalAddress(InetSocketAddress.class);
+        return acceptingChannel.getLocalAddress(InetSocketAddress.class);
     }
 
-    /** Who carries commands out from now on; before the first, each is answered that the process starts. */
+    /** Sets what executes commands from now on. It must not block. */
     public void handler(Function<OperatorCommand, CommandResult> handler) {
         this.handler = handler;
     }
 
-    /** One connection; its line so far is held as text, since the buffer is shared by all. */
-    private final class Caller {
+    /** One client. Its line so far is kept as text, since all connections share the buffer. */
+    private final class Connection {
         private final StreamConnection channel;
-        private final XnioExecutor.Key timer;
-        private final StringBuilder line = new StringBuilder(32);
-        private ByteBuffer answer; // once there is one, what comes is passed over
+        private final XnioExecutor.Key lifetimeTimer;
+        private final StringBuilder line = new StringBuilder(EXPECTED_LINE_LENGTH);
+        private ByteBuffer response; // null until the line is complete; after that input is discarded
 
-        Caller(StreamConnection channel) {
+        Connection(StreamConnection channel) {
             this.channel = channel;
-            if (open.size() >= MOST_OPEN) {
-                open.iterator().next().close();
+            if (connections.size() >= MAX_CONNECTIONS) {
+                connections.iterator().next().close();
             }
-            open.add(this);
-            timer = io.timer(io.clock.now() + OPEN_NS, this::expired);
-            channel.getSourceChannel().setReadListener(c -> read());
-            channel.getSinkChannel().setWriteListener(c -> write());
+            connections.add(this);
+            lifetimeTimer = io.timer(io.clock.now() + CONNECTION_LIFETIME_NS, this::expire);
+            channel.getSourceChannel().setReadListener(source -> read());
+            channel.getSinkChannel().setWriteListener(sink -> write());
             channel.getSourceChannel().resumeReads();
             read();
         }
 
         private void read() {
             try {
-                int n;
-                for (buffer.clear(); (n = channel.getSourceChannel().read(buffer)) > 0; buffer.clear()) {
-                    take();
+                int count;
+                for (readBuffer.clear();
+                        (count = channel.getSourceChannel().read(readBuffer)) > 0;
+                        readBuffer.clear()) {
+                    appendToLine();
                 }
-                if (n < 0 && answer == null) {
-                    answer(CommandResult.no("the line has no end"));
-                } else if (n < 0) {
+                if (count < 0 && response == null) {
+                    respond(CommandResult.rejected("the line has no end"));
+                } else if (count < 0) {
                     close();
                 }
             } catch (IOException e) {
@@ -92,40 +106,41 @@
             }
         }
 
-        private void take() {
-            for (int i = 0; answer == null && i < buffer.position(); i++) {
-                char c = (char) (buffer.get(i) & 0xff);
-                if (c == '\n') {
-                    carryOut(OperatorCommand.of(line.toString()));
-                } else if (line.length() == OperatorCommand.MOST) {
-                    answer(CommandResult.no("the line is longer than " + OperatorCommand.MOST + " bytes"));
+        private void appendToLine() {
+            for (int i = 0; response == null && i < readBuffer.position(); i++) {
+                char character = (char) (readBuffer.get(i) & 0xff);
+                if (character == '\n') {
+                    execute(OperatorCommandParser.parse(line.toString()));
+                } else if (line.length() == OperatorCommandParser.MAX_LINE_BYTES) {
+                    respond(CommandResult.rejected(
+                            "the line is longer than " + OperatorCommandParser.MAX_LINE_BYTES + " bytes"));
                 } else {
-                    line.append(c);
+                    line.append(character);
                 }
             }
         }
 
-        private void carryOut(OperatorCommand command) {
-            CommandResult verdict;
+        private void execute(OperatorCommand command) {
+            CommandResult result;
             try {
-                verdict = handler.apply(command);
-            } catch (RuntimeException e) { // one caller's fault must not reach the thread
+                result = handler.apply(command);
+            } catch (RuntimeException e) { // a fault in one command must not end the I/O thread
                 e.printStackTrace();
-                verdict = CommandResult.no("a fault of this program; its log has it");
+                result = CommandResult.rejected("a fault of this program; its log has it");
             }
-            answer(verdict);
+            respond(result);
         }
 
-        private void answer(CommandResult verdict) {
-            answer = ByteBuffer.wrap(verdict.encoded().getBytes(StandardCharsets.ISO_8859_1));
+        private void respond(CommandResult result) {
+            response = ByteBuffer.wrap(result.encoded().getBytes(StandardCharsets.ISO_8859_1));
             write();
         }
 
-        /** All of the answer, then the end of the sending; the caller's own end closes the connection. */
+        /** Writes the response and shuts the output down; the client's end of stream closes the connection. */
         private void write() {
             try {
-                while (answer.hasRemaining()) {
-                    if (channel.getSinkChannel().write(answer) == 0) {
+                while (response.hasRemaining()) {
+                    if (channel.getSinkChannel().write(response) == 0) {
                         channel.getSinkChannel().resumeWrites();
                         return;
                     }
@@ -138,16 +153,17 @@
             }
         }
 
-        private void expired() {
-            if (answer == null) {
-                answer(CommandResult.no("no whole line came within " + OPEN_NS / 1_000 / Clock.MS + " s"));
+        private void expire() {
+            if (response == null) {
+                respond(CommandResult.rejected(
+                        "no whole line came within " + CONNECTION_LIFETIME_NS / NS_PER_S + " s"));
             }
             close();
         }
 
         private void close() {
-            timer.remove();
-            open.remove(this);
+            lifetimeTimer.remove();
+            connections.remove(this);
             IoUtils.safeClose(channel);
         }
     }
