Commands: one base class, mixins in place of copies, a file for each experiment

CommandReplay passes a Launcher that starts nothing; GossipWordsTest is GossipWatchCommandTest, with the same assertions. Tests not run yet.

--- a/src/main/java/elderseam/cli/FleetCommand.java
+++ b/src/main/java/elderseam/cli/FleetCommand.java
@@ -3,33 +3,29 @@
 import elderseam.testkit.faults.FleetMeasurements;
 import elderseam.testkit.faults.LeaseTestRun;
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Spec;
 
-/** The fleet rig: processes of this program on loopback, faults between them, and checkers of what happened. */
+/** {@code fleet}: tests of a fleet of real processes on loopback. */
 @Command(
         name = "fleet",
-        mixinStandardHelpOptions = true,
-        versionProvider = Commands.Version.class,
         description = "Rehearsals of a fleet: real processes with faults between them.",
         subcommands = {FleetCommand.Test.class, FleetCommand.Figures.class})
-final class FleetCommand extends Commands.Group {
+final class FleetCommand extends CommandGroup {
+    private static final int MIN_MEMBERS = 2;
+    private static final int MAX_MEMBERS = 16;
+    private static final String TEMPORARY_FOLDER = "elderseam-fleet";
+
     @Command(
             name = "test",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "Plays rounds of faults and checks the whole history; exits with 0 only where no checker found a violation.")
-    static final class Test implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+    static final class Test extends CommandBase {
+        private static final int MAX_ROUNDS = 100_000;
+        private static final int MEMBERS_OF_SCENARIO = 0;
+        private static final String HISTORY_FILE = "rig.jsonl";
 
         @Option(
                 names = "--scenario",
@@ -58,7 +54,7 @@
                 paramLabel = "NAME",
                 description =
                         "a fault that a checker must find: no-margin, no-fence, no-heal, gossip, gossip-majority, no-confirm or at-commit")
-        private String plant;
+        private String plantedFault;
 
         @Option(
                 names = "--folder",
@@ -67,7 +63,7 @@
         private Path folder;
 
         @Option(names = "--schedule", description = "tells the faults of each round, and plays nothing")
-        private boolean schedule;
+        private boolean scheduleOnly;
 
         @Option(
                 names = "--json",
@@ -77,69 +73,68 @@
 
         @Override
         public Integer call() throws IOException {
-            if (rounds < 1 || rounds > 100_000) {
-                throw new ParameterException(spec.commandLine(), "--rounds: " + rounds + ", allowed: 1 to 100000");
-            }
-            if (members != 0 && (members < 2 || members > 16)) {
-                throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16, or 0");
+            checkOptions();
+            if (scheduleOnly) {
+                LeaseTestRun.schedule(terms(folder)).forEach(out()::println);
+                return ExitCodes.OK;
             }
-            if (plant != null && !LeaseTestRun.PLANTS.contains(plant)) {
-                throw new ParameterException(
-                        spec.commandLine(),
-                        "--plant: '" + plant + "', allowed: " + String.join(", ", LeaseTestRun.PLANTS));
+            Path usedFolder = folder != null ? folder : Files.createTempDirectory(TEMPORARY_FOLDER);
+            LeaseTestRun.Result result = LeaseTestRun.run(terms(usedFolder), this::printAtOnce);
+            if (json != null) {
+                Files.writeString(json, result.json() + "\n");
             }
-            if (folder != null && Files.exists(folder.resolve("rig.jsonl"))) {
-                throw new ParameterException(
-                        spec.commandLine(),
-                        "--folder: " + folder + " holds a history already, allowed: an empty or new folder");
+            print(result, usedFolder);
+            System.exit(
+                    result.violations().isEmpty() ? ExitCodes.OK : ExitCodes.FAILED); // threads of the test kit run on
+            return ExitCodes.OK;
+        }
+
+        private void checkOptions() {
+            requireRange("--rounds", rounds, 1, MAX_ROUNDS);
+            if (members != MEMBERS_OF_SCENARIO && (members < MIN_MEMBERS || members > MAX_MEMBERS)) {
+                throw usageFault("--members: " + members + ", allowed: 2 to 16, or 0");
             }
-            PrintWriter out = spec.commandLine().getOut();
-            Path at = folder != null || schedule ? folder : Files.createTempDirectory("elderseam-fleet");
-            LeaseTestRun.Terms terms = new LeaseTestRun.Terms(scenario, rounds, seed, plant, at, members);
-            if (schedule) {
-                LeaseTestRun.schedule(terms).forEach(out::println);
-                return 0;
+            if (plantedFault != null && !LeaseTestRun.PLANTS.contains(plantedFault)) {
+                throw usageFault("--plant: '" + plantedFault + "', allowed: " + String.join(", ", LeaseTestRun.PLANTS));
             }
-            LeaseTestRun.Result result = LeaseTestRun.run(terms, line -> {
-                out.println(line);
-                out.flush();
-            });
-            if (json != null) {
-                Files.writeString(json, result.json() + "\n");
+            if (folder != null && Files.exists(folder.resolve(HISTORY_FILE))) {
+                throw usageFault("--folder: " + folder + " holds a history already, allowed: an empty or new folder");
             }
-            result.figures().forEach((name, value) -> out.println(name + "=" + value));
-            out.println("history in " + at);
-            out.println("violations: " + result.violations().size());
-            out.flush();
-            System.exit(result.violations().isEmpty() ? 0 : 1); // the stand-ins' threads would hold the process
-            return 0;
+        }
+
+        private LeaseTestRun.Terms terms(Path usedFolder) {
+            return new LeaseTestRun.Terms(scenario, rounds, seed, plantedFault, usedFolder, members);
+        }
+
+        private void printAtOnce(String line) {
+            out().println(line);
+            out().flush();
+        }
+
+        private void print(LeaseTestRun.Result result, Path usedFolder) {
+            result.figures().forEach((name, value) -> out().println(name + "=" + value));
+            out().println("history in " + usedFolder);
+            out().println("violations: " + result.violations().size());
+            out().flush();
         }
     }
 
     @Command(
             name = "figures",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "What leases and the one watch of discovery cost and save: the same processes off and on, in one run.")
-    static final class Figures implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+    static final class Figures extends CommandBase {
         @Option(names = "--members", defaultValue = "3", description = "2 to 16 (${DEFAULT-VALUE})")
         private int members;
 
         @Override
         public Integer call() throws IOException {
-            if (members < 2 || members > 16) {
-                throw new ParameterException(spec.commandLine(), "--members: " + members + ", allowed: 2 to 16");
-            }
-            PrintWriter out = spec.commandLine().getOut();
-            FleetMeasurements.measure(members, Files.createTempDirectory("elderseam-fleet"))
-                    .forEach((name, value) -> out.println(name + "=" + value));
-            out.flush();
-            System.exit(0); // the stand-ins' threads would hold the process
-            return 0;
+            requireRange("--members", members, MIN_MEMBERS, MAX_MEMBERS);
+            FleetMeasurements.measure(members, Files.createTempDirectory(TEMPORARY_FOLDER))
+                    .forEach((name, value) -> out().println(name + "=" + value));
+            out().flush();
+            System.exit(ExitCodes.OK); // threads of the test kit run on
+            return ExitCodes.OK;
         }
     }
 }
--- a/src/main/java/elderseam/cli/KeysCommand.java
+++ b/src/main/java/elderseam/cli/KeysCommand.java
@@ -5,35 +5,28 @@
 import elderseam.gossip.security.KeyFile;
 import elderseam.gossip.security.Roster;
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine.Spec;
 
-/** Keys of instances, and the roster that names them. */
+/** {@code keys}: makes the members' keys, and reads the roster that names them. */
 @Command(
         name = "keys",
-        mixinStandardHelpOptions = true,
-        versionProvider = Commands.Version.class,
         description = "Keys of instances, and the roster that names them.",
-        subcommands = {KeysCommand.New.class, KeysCommand.SealKey.class, KeysCommand.ListAll.class})
-final class KeysCommand extends Commands.Group {
+        subcommands = {KeysCommand.New.class, KeysCommand.SealKey.class, KeysCommand.ListMembers.class})
+final class KeysCommand extends CommandGroup {
+    /** The failure of a command that would have to overwrite a key. */
+    private static IOException keyExists(Path file) {
+        return new IOException(file + ": there already, a key is not written over");
+    }
+
     @Command(
             name = "new",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description = "Makes a key in a file that only its owner may read, and tells the line for every roster.")
-    static final class New implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+    static final class New extends CommandBase {
         @Parameters(index = "0", paramLabel = "FILE", description = "the key file; it must not be there yet")
         private Path file;
 
@@ -50,30 +43,27 @@
         @Override
         public Integer call() throws IOException {
             if (!PacketCodec.isName(name)) {
-                throw new ParameterException(
-                        spec.commandLine(), "--name: '" + name + "' is no name, allowed: 1 to 64 of A-Z a-z 0-9 . _ -");
+                throw usageFault("--name: '" + name + "' is no name, allowed: 1 to 64 of A-Z a-z 0-9 . _ -");
             }
             String fault = Roster.rangesFault(ranges);
             if (fault != null) {
-                throw new ParameterException(spec.commandLine(), "--from: " + fault);
+                throw usageFault("--from: " + fault);
             }
             try {
                 KeyFile key = KeyFile.make(file);
-                spec.commandLine().getOut().println(name + " " + ranges + " " + key.text());
-                return 0;
+                out().println(name + " " + ranges + " " + key.text());
+                return ExitCodes.OK;
             } catch (FileAlreadyExistsException e) {
-                throw new IOException(file + ": there already, a key is not written over");
+                throw keyExists(file);
             }
         }
     }
 
     @Command(
             name = "seal",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "Makes a key by which the members of a fleet seal what they pass on; the same file goes to each of them.")
-    static final class SealKey implements Callable<Integer> {
+    static final class SealKey extends CommandBase {
         @Parameters(index = "0", paramLabel = "FILE", description = "the key file; it must not be there yet")
         private Path file;
 
@@ -81,23 +71,18 @@
         public Integer call() throws IOException {
             try {
                 SecretSealer.make(file, new SecureRandom());
-                return 0;
+                return ExitCodes.OK;
             } catch (FileAlreadyExistsException e) {
-                throw new IOException(file + ": there already, a key is not written over");
+                throw keyExists(file);
             }
         }
     }
 
     @Command(
             name = "list",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "What a roster says; tells every fault of it, a line each, and exits with 1 where there is one.")
-    static final class ListAll implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+    static final class ListMembers extends CommandBase {
         @Parameters(index = "0", paramLabel = "ROSTER")
         private Path roster;
 
@@ -106,19 +91,17 @@
 
         @Override
         public Integer call() throws IOException {
-            PrintWriter out = spec.commandLine().getOut();
-            for (Roster.Entry e : Roster.read(roster).all()) {
+            for (Roster.Entry member : Roster.read(roster).all()) {
                 String ranges = String.join(
-                        ",", e.ranges().stream().map(Object::toString).toList());
+                        ",", member.ranges().stream().map(Object::toString).toList());
                 if (json) {
-                    out.printf(
-                            "{\"name\":\"%s\",\"from\":\"%s\",\"keys\":[\"%s\"]}%n",
-                            e.name(), ranges, String.join("\",\"", e.texts()));
+                    String keys = String.join("\",\"", member.texts());
+                    out().printf("{\"name\":\"%s\",\"from\":\"%s\",\"keys\":[\"%s\"]}%n", member.name(), ranges, keys);
                 } else {
-                    out.printf("%-20s %-30s %s%n", e.name(), ranges, String.join(" ", e.texts()));
+                    out().printf("%-20s %-30s %s%n", member.name(), ranges, String.join(" ", member.texts()));
                 }
             }
-            return 0;
+            return ExitCodes.OK;
         }
     }
 }
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -6,30 +6,20 @@
 import elderseam.rules.RuleLimits;
 import elderseam.rules.RuleLoader;
 import elderseam.rules.SampleRequest;
-import elderseam.settings.SettingKeys;
-import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
-import picocli.CommandLine.Spec;
 
-/** The operator's rules on a desk: what is wrong with them, what they cost, what a request would get. */
+/** {@code rules}: checks the operator's rules and tries them out, without a dispatcher. */
 @Command(
         name = "rules",
-        mixinStandardHelpOptions = true,
-        versionProvider = Commands.Version.class,
         description = "The operator's rules.",
         subcommands = {
             RulesCommand.Check.class,
@@ -37,122 +27,52 @@
             RulesCommand.Eval.class,
             RulesCommand.Test.class
         })
-final class RulesCommand extends Commands.Group {
-    private static final int MOST_REQUEST = 1 << 20;
-
-    /** What all of them are given. */
-    static final class Given {
-        @Parameters(
-                index = "0",
-                paramLabel = "FILE",
-                description = "a rules file, or settings whose [rules] names them")
-        private Path file;
-
-        @Option(
-                names = "--config",
-                paramLabel = "JSON",
-                description = "the platform's configuration (RELAY_CONFIG), which names classes and tenants; without "
-                        + "it each name that stands in a rule is taken for one")
-        private Path config;
-
-        Settings settings() throws IOException {
-            boolean settings = Settings.lines(file, "a rules file").stream()
-                    .anyMatch(l -> l.strip().equals("[rules]"));
-            return settings ? Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS) : Settings.none();
-        }
-
-        private List<Path> files(Settings s) {
-            return s.tells(SettingKeys.RULES_FILES)
-                    ? s.get(SettingKeys.RULES_FILES).stream().map(Path::of).toList()
-                    : List.of(file);
-        }
-
-        KnownNames names() throws IOException {
-            if (config == null) {
-                return KnownNames.untold();
-            }
-            JsonValue settings = JsonValue.read(Files.readAllBytes(config)).get("settings");
-            return KnownNames.of(names(settings.get("services")), names(settings.get("orgs")));
-        }
-
-        private static List<String> names(JsonValue list) {
-            return list.items().stream().map(i -> i.get("name").asText("")).toList();
-        }
-
-        RuleLoader.Loaded read(KnownNames names) throws IOException {
-            Settings s = settings();
-            return RuleLoader.read(files(s), RuleLimits.of(s), names);
-        }
-
-        String place() {
-            return file.toString();
-        }
-    }
-
-    @Command(
-            name = "check",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
-            description = "Tells every fault, each with its place; exits with 1 where there is one.")
-    static final class Check implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+final class RulesCommand extends CommandGroup {
+    @Command(name = "check", description = "Tells every fault, each with its place; exits with 1 where there is one.")
+    static final class Check extends CommandBase {
         @Mixin
-        private Given given;
+        private RulesInput input;
 
         @Override
         public Integer call() throws IOException {
-            KnownNames names = given.names();
-            RuleLoader.Loaded l = given.read(names);
-            l.warnings().forEach(w -> spec.commandLine().getErr().println("warning: " + w));
-            spec.commandLine()
-                    .getOut()
-                    .println(given.place() + ": no fault, " + l.book().rules() + " rules, at most " + l.bound()
-                            + " units a request"
-                            + (names.told() ? "" : " (classes and tenants not checked: no --config)"));
-            return 0;
+            KnownNames names = input.names();
+            RuleLoader.Loaded loaded = input.load(names);
+            loaded.warnings().forEach(warning -> err().println("warning: " + warning));
+            String unchecked = names.told() ? "" : " (classes and tenants not checked: no --config)";
+            out().println(input.file() + ": no fault, " + loaded.book().rules() + " rules, at most " + loaded.bound()
+                    + " units a request" + unchecked);
+            return ExitCodes.OK;
         }
     }
 
     @Command(
             name = "explain",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "The checked tree of an expression: of each part the type, and the most units that it may cost.")
-    static final class Explain implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+    static final class Explain extends CommandBase {
         @Mixin
-        private Given given;
+        private RulesInput input;
 
         @Parameters(index = "1", paramLabel = "EXPR", description = "such as \"message.class == 'invoice'\"")
         private String expression;
 
         @Override
         public Integer call() throws IOException {
-            spec.commandLine()
-                    .getOut()
-                    .println(RuleLoader.explain(expression, RuleLimits.of(given.settings()))
-                            .stripTrailing());
-            return 0;
+            RuleLimits limits = RuleLimits.of(input.settings());
+            out().println(RuleLoader.explain(expression, limits).stripTrailing());
+            return ExitCodes.OK;
         }
     }
 
     @Command(
             name = "eval",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description =
                     "Reads a request from standard input, as it is on the wire, and tells what it would get and why.")
-    static final class Eval implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+    static final class Eval extends CommandBase {
+        private static final int MAX_REQUEST_BYTES = 1 << 20;
 
         @Mixin
-        private Given given;
+        private RulesInput input;
 
         @Option(
                 names = "--state",
@@ -170,62 +90,72 @@
 
         @Override
         public Integer call() throws IOException {
-            KnownNames names = given.names();
-            RuleLoader.Loaded l = given.read(names);
-            List<String> faults = new ArrayList<>(), trace = new ArrayList<>();
-            SampleRequest sample =
-                    SampleRequest.read(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
-            sample.state(state, faults);
+            KnownNames names = input.names();
+            RuleLoader.Loaded loaded = input.load(names);
+            SampleRequest request = readRequest();
+            List<String> trace = new ArrayList<>();
+            Map<String, String> result = RuleExample.eval(loaded, names, request, trace);
+            if (json) {
+                out().println(jsonObject(result, trace));
+            } else {
+                result.forEach((name, value) -> out().printf("%-12s %s%n", name, value));
+                trace.forEach(line -> out().println("  " + line));
+            }
+            return ExitCodes.OK;
+        }
+
+        /** The request on standard input, in the dispatcher's state and at the time that the options give. */
+        private SampleRequest readRequest() throws IOException {
+            String text = new String(System.in.readNBytes(MAX_REQUEST_BYTES), StandardCharsets.UTF_8);
+            List<String> faults = new ArrayList<>();
+            SampleRequest request = SampleRequest.read(text, faults);
+            request.state(state, faults);
             if (at != null) {
-                sample.at(at, faults);
+                request.at(at, faults);
             }
             if (!faults.isEmpty()) {
                 throw new SettingsFault(
-                        faults.stream().map(f -> "request: " + f).toList());
+                        faults.stream().map(fault -> "request: " + fault).toList());
             }
-            Map<String, String> got = RuleExample.eval(l, names, sample, trace);
-            PrintWriter out = spec.commandLine().getOut();
-            if (json) {
-                StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(JsonValue.quote(k))
-                        .append(':')
-                        .append(JsonValue.quote(v))
-                        .append(','));
-                out.println(all + "\"why\":["
-                        + String.join(",", trace.stream().map(JsonValue::quote).toList()) + "]}");
-            } else {
-                got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
-                trace.forEach(t -> out.println("  " + t));
-            }
-            return 0;
+            return request;
+        }
+
+        private static String jsonObject(Map<String, String> result, List<String> trace) {
+            StringBuilder object = new StringBuilder("{");
+            result.forEach((name, value) -> object.append(JsonValue.quote(name))
+                    .append(':')
+                    .append(JsonValue.quote(value))
+                    .append(','));
+            String why = String.join(",", trace.stream().map(JsonValue::quote).toList());
+            return object + "\"why\":[" + why + "]}";
         }
     }
 
     @Command(
             name = "test",
-            mixinStandardHelpOptions = true,
-            versionProvider = Commands.Version.class,
             description = "Runs the examples that stand beside the rules; exits with 1 where one does not hold.")
-    static final class Test implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-
+    static final class Test extends CommandBase {
         @Mixin
-        private Given given;
+        private RulesInput input;
 
         @Override
         public Integer call() throws IOException {
-            KnownNames names = given.names();
-            RuleLoader.Loaded l = given.read(names);
+            KnownNames names = input.names();
+            RuleLoader.Loaded loaded = input.load(names);
             int failed = 0;
-            for (RuleExample e : l.examples()) {
-                List<String> wrong = e.run(l.book(), names);
-                failed += wrong.isEmpty() ? 0 : 1;
-                spec.commandLine().getOut().println((wrong.isEmpty() ? "holds  " : "FAILS  ") + e.name());
-                wrong.forEach(w -> spec.commandLine().getOut().println("  " + w));
+            for (RuleExample example : loaded.examples()) {
+                List<String> differences = example.run(loaded.book(), names);
+                failed += differences.isEmpty() ? 0 : 1;
+                print(example, differences);
             }
-            spec.commandLine().getOut().println(l.examples().size() + " examples, " + failed + " failed");
-            return failed == 0 ? 0 : 1;
+            out().println(loaded.examples().size() + " examples, " + failed + " failed");
+            return failed == 0 ? ExitCodes.OK : ExitCodes.FAILED;
+        }
+
+        private void print(RuleExample example, List<String> differences) {
+            String verdict = differences.isEmpty() ? "holds  " : "FAILS  ";
+            out().println(verdict + example.name());
+            differences.forEach(difference -> out().println("  " + difference));
         }
     }
 }
--- a/src/test/java/elderseam/cli/GossipWordsTest.java
+++ b/src/test/java/elderseam/cli/GossipWatchCommandTest.java
@@ -8,19 +8,19 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The states in {@code gossip watch --json}, in the order of their constants. */
-class GossipWordsTest {
+/** The states in {@code gossip watch --json}, as programs read them, in the order of their constants. */
+class GossipWatchCommandTest {
     @Test
-    void statesKeepTheirWords() {
+    void statesHaveTheirWireNames() {
         assertEquals(
                 List.of("ALIVE", "SUSPECT", "DEAD", "LEFT"),
                 Arrays.stream(MemberState.values())
-                        .map(GossipCommand.Watch::word)
+                        .map(GossipWatchCommand::wireName)
                         .toList());
         assertEquals(
                 List.of("CLOSED", "HALF_OPEN", "OPEN"),
                 Arrays.stream(HealthReport.State.values())
-                        .map(GossipCommand.Watch::word)
+                        .map(GossipWatchCommand::wireName)
                         .toList());
     }
 }
--- a/src/test/java/elderseam/compat/CommandReplay.java
+++ b/src/test/java/elderseam/compat/CommandReplay.java
@@ -1,9 +1,11 @@
 package elderseam.compat;
 
 import elderseam.cli.Commands;
+import elderseam.cli.Launcher;
 import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -82,6 +84,21 @@
             "usage fleet test",
             "usage fleet figures");
 
+    /** Starts nothing: the commands that start something are replayed for their usage alone. */
+    private static final class IdleLauncher implements Launcher {
+        @Override
+        public void serve(Path settings) {}
+
+        @Override
+        public void runSimulatorHost() {}
+
+        @Override
+        public void startAcmeAuthority(InetSocketAddress address, int challengePort) {}
+
+        @Override
+        public void trainClassArchive() {}
+    }
+
     private CommandReplay() {}
 
     public static void main(String[] args) throws Exception {
@@ -108,7 +125,7 @@
         System.setOut(new PrintStream(written, true, StandardCharsets.UTF_8));
         System.setErr(new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
         System.setIn(part.length > 1 ? Files.newInputStream(Path.of(part[1])) : InputStream.nullInputStream());
-        int code = Commands.run(part[0].split(" "), file -> {}, () -> {}, (address, port) -> {}, () -> {});
+        int code = Commands.run(part[0].split(" "), new IdleLauncher());
         return written.toString(StandardCharsets.UTF_8) + "exit " + code + "\n";
     }
 
