Settings: keys parse to Optional, conflicts stand apart, readers in small steps

Cause: SettingKeys held keys and 28 predicates in 393 lines, a key's parser said "not allowed" by null, each caller passed the same two lists, and the readers of INI and section files were one method each. Change: Settings.read(file); SettingConflicts and SettingConflict, loaded only where a file sets anything; SettingKey.parse, reloadable, defaultText; constants named after their path; IniFile and SectionFile read line by line. Tests: SettingsCompatTest asks parse instead of read().apply() and null, as strictly; SettingsTest gains the check that the defaults have no conflict. Tests not run yet.

--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -141,7 +141,8 @@
         Roster roster = GossipConfiguration.roster(fresh, self(), configuration.key());
         return () -> {
             appliesAdvice = appliesAdvice(fresh);
-            transport.ceiling(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
+            transport.ceiling(
+                    fresh.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S), fresh.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
             transport.roster(roster);
             System.err.println("gossip: " + transport.counts());
         };
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -105,7 +105,7 @@
         Settings effective = versionActive ? merged(versions.get().activeTexts()) : own;
         Runnable applyFleet = fleet.reload(own);
         Runnable applyRules = versionActive ? () -> {} : readRules(own);
-        List<String> needRestart = startSettings.changed(own, SettingKeys.ALL, false);
+        List<String> needRestart = startSettings.changedStartKeys(own);
         return () -> {
             latestConfig = freshConfig;
             moveDiscovery(effective);
@@ -137,7 +137,7 @@
 
     private Settings merged(Path versionDirectory) throws IOException {
         Path merged = VersionContent.mergeSettings(settingsFile, versionDirectory);
-        return Settings.read(merged, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        return Settings.read(merged);
     }
 
     private void moveDiscovery(Settings settings) {
--- a/src/main/java/elderseam/app/OperatorSettings.java
+++ b/src/main/java/elderseam/app/OperatorSettings.java
@@ -38,7 +38,7 @@
         if (isLegacy(file) || absentDefault) {
             return Settings.none();
         }
-        return Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        return Settings.read(file);
     }
 
     private static boolean isLegacy(Path file) {
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -67,9 +67,10 @@
         this.fleetSize =
                 new FleetSizeEstimator(configuredCount, settings.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MS);
         this.connectionsPerEndpoint =
-                settings.get(SettingKeys.SHARES_CONNECTIONS).intValue();
-        this.connectionsPerMember = settings.get(SettingKeys.SHARES_EACH).intValue();
-        this.retryRatio = settings.get(SettingKeys.SHARES_RETRIES) / 100.0;
+                settings.get(SettingKeys.SHARES_ENDPOINT_CONNECTIONS).intValue();
+        this.connectionsPerMember =
+                settings.get(SettingKeys.SHARES_CONNECTIONS_EACH).intValue();
+        this.retryRatio = settings.get(SettingKeys.SHARES_RETRIES_PERCENT) / 100.0;
         this.probesByTurns = settings.get(SettingKeys.SHARES_TRIALS).equals("one");
         check();
     }
--- a/src/main/java/elderseam/cli/ConfigCommand.java
+++ b/src/main/java/elderseam/cli/ConfigCommand.java
@@ -33,7 +33,7 @@
 
         @Override
         public Integer call() throws IOException {
-            Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+            Settings.read(file);
             out().println(file + ": no fault");
             return ExitCodes.OK;
         }
@@ -57,9 +57,7 @@
         @Override
         public Integer call() throws IOException {
             boolean fileIsGiven = spec().commandLine().getParseResult().hasMatchedPositional(0);
-            Settings settings = !fileIsGiven && !Files.exists(file)
-                    ? Settings.none()
-                    : Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+            Settings settings = !fileIsGiven && !Files.exists(file) ? Settings.none() : Settings.read(file);
             for (SettingKey<?> key : SettingKeys.ALL) {
                 if (json) {
                     printJson(settings, key);
@@ -76,7 +74,7 @@
                             JsonValue.quote(key.path()),
                             JsonValue.quote(settings.text(key)),
                             JsonValue.quote(settings.origin(key)),
-                            key.live());
+                            key.reloadable());
         }
 
         private void printRow(Settings settings, SettingKey<?> key) {
@@ -86,7 +84,7 @@
                             key.path(),
                             value.isEmpty() ? "(empty)" : value,
                             settings.origin(key),
-                            key.live() ? "live" : "from the next start");
+                            key.reloadable() ? "live" : "from the next start");
         }
     }
 }
--- a/src/main/java/elderseam/cli/GossipWatchCommand.java
+++ b/src/main/java/elderseam/cli/GossipWatchCommand.java
@@ -48,7 +48,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Settings settings = Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        Settings settings = Settings.read(file);
         if (settings.get(SettingKeys.GOSSIP_LISTEN).equals("off")) {
             throw new IOException(file + ": gossip.listen: is off, allowed: ADDRESS:PORT");
         }
--- a/src/main/java/elderseam/cli/RulesInput.java
+++ b/src/main/java/elderseam/cli/RulesInput.java
@@ -36,7 +36,7 @@
     Settings settings() throws IOException {
         boolean isSettingsFile = Settings.lines(file, "a rules file").stream()
                 .anyMatch(line -> line.strip().equals(RULES_SECTION));
-        return isSettingsFile ? Settings.read(file, SettingKeys.ALL, SettingKeys.CONTRADICTIONS) : Settings.none();
+        return isSettingsFile ? Settings.read(file) : Settings.none();
     }
 
     /** The names that rules may use, or that they are not known. */
@@ -60,7 +60,7 @@
     }
 
     private List<Path> files(Settings settings) {
-        return settings.tells(SettingKeys.RULES_FILES)
+        return settings.isSet(SettingKeys.RULES_FILES)
                 ? settings.get(SettingKeys.RULES_FILES).stream().map(Path::of).toList()
                 : List.of(file);
     }
--- a/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
@@ -37,7 +37,7 @@
                 s.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS).stream()
                         .map(o -> o.toLowerCase(Locale.ROOT))
                         .toList(),
-                s.get(SettingKeys.EVENTS_WEBHOOK_RATE).intValue());
+                s.get(SettingKeys.EVENTS_WEBHOOK_RATE_PER_MINUTE).intValue());
     }
 
     /** An events' file as it was before {@code deploy/elderseam.ini}; a file that is not there is off. */
--- a/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
+++ b/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
@@ -19,8 +19,8 @@
                 GossipTransport.address(s.get(SettingKeys.GOSSIP_LISTEN)),
                 s.get(SettingKeys.GOSSIP_ADVERTISE),
                 s.get(SettingKeys.GOSSIP_SEEDS),
-                s.get(SettingKeys.GOSSIP_BYTES),
-                s.get(SettingKeys.GOSSIP_DATAGRAMS));
+                s.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S),
+                s.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
         return new GossipConfiguration(place, key, new Keyring(key, roster(s, place.name(), key)));
     }
 
--- a/src/main/java/elderseam/settings/SettingKey.java
+++ b/src/main/java/elderseam/settings/SettingKey.java
@@ -2,71 +2,100 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
- * One setting: where it stands, what it may be, what it is where nobody tells, and whether SIGHUP can change it.
+ * One key of the settings file.
  *
+ * @param <T> the type of its value
+ * @param section the section that it stands in
+ * @param name its name in the section
  * @param allowed what is allowed, in words that follow "allowed: "
- * @param read the value of a text, or null where the text is none; it need not be told why
+ * @param defaultText the text that counts where the file has none
+ * @param reloadable whether a change takes effect on SIGHUP; otherwise when the process starts
+ * @param parser the value of a text, or empty where the text is not allowed
  */
 public record SettingKey<T>(
-        String section, String name, String allowed, String absent, boolean live, Function<String, T> read) {
+        String section,
+        String name,
+        String allowed,
+        String defaultText,
+        boolean reloadable,
+        Function<String, Optional<T>> parser) {
+    private static final int MAX_PORT = 65_535;
+
+    /** The key as operators name it: {@code section.name}. */
     public String path() {
         return section + "." + name;
     }
 
-    /** The value where the file tells none. */
-    public T byDefault() {
-        return read.apply(absent);
+    /** The value of a text, or empty where it is not allowed. */
+    public Optional<T> parse(String text) {
+        return parser.apply(text);
+    }
+
+    /** The value where the file has none. */
+    public T defaultValue() {
+        return parse(defaultText).orElseThrow();
     }
 
-    /** A whole number from {@code least} to {@code most}. */
-    public static SettingKey<Long> whole(
-            String section, String name, String unit, long least, long most, long absent, boolean live) {
+    /** A key for a whole number from {@code min} to {@code max}; {@code unit} may say more of it. */
+    public static SettingKey<Long> integer(
+            String section, String name, String unit, long min, long max, long defaultValue, boolean reloadable) {
+        String allowed = min + " to " + max + " " + unit;
         return new SettingKey<>(
-                section, name, least + " to " + most + " " + unit, Long.toString(absent), live, text -> {
-                    if (!text.matches("-?\\d{1,18}")) {
-                        return null;
-                    }
-                    long value = Long.parseLong(text);
-                    return value < least || value > most ? null : value;
-                });
+                section,
+                name,
+                allowed,
+                Long.toString(defaultValue),
+                reloadable,
+                text -> parseInteger(text).filter(value -> value >= min && value <= max));
     }
 
-    /** An address and a port to listen on, or off. */
-    public static SettingKey<String> listen(String section, String name) {
+    /** A key for an address and a port to listen on, or {@code off}, which is the default. */
+    public static SettingKey<String> listenAddress(String section, String name) {
         return new SettingKey<>(
                 section,
                 name,
                 "off, or ADDRESS:PORT",
                 "off",
                 false,
-                text -> text.equals("off") || address(text) ? text : null);
+                text -> Optional.of(text).filter(value -> value.equals("off") || isAddress(value)));
     }
 
-    /** Words apart by spaces or commas, each of that form; none by default. */
-    public static SettingKey<List<String>> words(
-            String section, String name, String allowed, String form, boolean live) {
-        return new SettingKey<>(section, name, allowed, "", live, text -> {
+    /** A key for words separated by spaces or commas, each matching the regular expression; none by default. */
+    public static SettingKey<List<String>> list(
+            String section, String name, String allowed, String wordRegex, boolean reloadable) {
+        return new SettingKey<>(section, name, allowed, "", reloadable, text -> {
             List<String> words = text.isEmpty() ? List.of() : List.of(text.split("[ ,]+"));
-            return words.stream().allMatch(w -> w.matches(form)) ? words : null;
+            return Optional.of(words).filter(all -> all.stream().allMatch(word -> word.matches(wordRegex)));
         });
     }
 
-    /** Any text of one line that matches; empty by default means that it is not set. */
+    /** A key for a line that matches the regular expression, or is empty: not set, if that is the default. */
     public static SettingKey<String> text(
-            String section, String name, String allowed, String form, String absent, boolean live) {
+            String section, String name, String allowed, String regex, String defaultText, boolean reloadable) {
         return new SettingKey<>(
-                section, name, allowed, absent, live, text -> text.isEmpty() || text.matches(form) ? text : null);
+                section,
+                name,
+                allowed,
+                defaultText,
+                reloadable,
+                text -> Optional.of(text).filter(value -> value.isEmpty() || value.matches(regex)));
+    }
+
+    private static Optional<Long> parseInteger(String text) {
+        return text.matches("-?\\d{1,18}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
     }
 
-    static boolean address(String text) {
+    private static boolean isAddress(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")) {
             return false;
         }
-        return Integer.parseInt(text.substring(colon + 1)) <= 65_535
-                && text.substring(0, colon).toLowerCase(Locale.ROOT).matches("[0-9a-z.-]+|\\[[0-9a-f:.]+]");
+        String host = text.substring(0, colon).toLowerCase(Locale.ROOT);
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return port <= MAX_PORT && host.matches("[0-9a-z.-]+|\\[[0-9a-f:.]+]");
     }
 }
--- a/src/main/java/elderseam/settings/Settings.java
+++ b/src/main/java/elderseam/settings/Settings.java
@@ -6,55 +6,48 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The values of a settings file, whole and checked, and where each comes from. A file is taken with no fault at all or not
- * at all. Where every line is blank or a comment, as in the file that ships, the library that reads INI is not loaded: what
- * is off costs nothing.
+ * The checked values of a settings file, and the line that each comes from. Immutable. A file with any fault is not read at
+ * all. For a file without settings, as the one that ships, neither the INI library nor the conflicts are loaded, because
+ * that would lengthen every start.
  */
 public final class Settings {
-    /** A value as told, and the line that told it. */
-    private record Told(String text, int line) {}
-
-    private static final int MOST_BYTES = 1 << 20;
+    private static final int MAX_FILE_BYTES = 1 << 20;
 
     private final String file;
-    private final Map<String, Told> told;
+    private final Map<String, IniFile.Value> values; // by the keys' paths; a key that is not set is absent
 
-    private Settings(String file, Map<String, Told> told) {
+    private Settings(String file, Map<String, IniFile.Value> values) {
         this.file = file;
-        this.told = told;
+        this.values = values;
     }
 
-    /** Nothing told: every value is its default. */
+    /** Settings without a file: every value is its default. */
     public static Settings none() {
         return new Settings("", Map.of());
     }
 
-    /** Reads and checks a file against these keys; {@link ConflictingSettings}s that its values fulfil are faults too. */
-    public static Settings read(
-            Path file, Collection<? extends SettingKey<?>> keys, List<ConflictingSettings> contradictions)
-            throws IOException {
+    /**
+     * Reads and checks a settings file.
+     *
+     * @throws SettingsFault with every fault of the file, if it has any
+     * @throws IOException if it can't be read
+     */
+    public static Settings read(Path file) throws IOException {
         List<String> lines = lines(file, "a settings file");
-        boolean empty =
-                lines.stream().map(String::strip).allMatch(l -> l.isEmpty() || l.startsWith("#") || l.startsWith(";"));
-        Settings settings = new Settings(file.toString(), empty ? Map.of() : new LinkedHashMap<>());
-        List<String> faults = new ArrayList<>();
-        if (!empty) {
-            IniFile.read(file.toString(), lines, faults)
-                    .forEach((path, value) -> settings.told.put(path, new Told(value.text(), value.line())));
+        String name = file.toString();
+        if (lines.stream().allMatch(Settings::isBlankOrComment)) {
+            return new Settings(name, Map.of());
         }
-        settings.check(keys, faults);
+        List<String> faults = new ArrayList<>();
+        Settings settings = new Settings(name, IniFile.read(name, lines, faults));
+        faults.addAll(settings.valueFaults());
         if (faults.isEmpty()) {
-            for (ConflictingSettings c : contradictions) {
-                if (c.holds().test(settings)) {
-                    faults.add(settings.place(c.at()) + c.at().path() + ": " + c.words());
-                }
-            }
+            faults.addAll(settings.conflictFaults());
         }
         if (!faults.isEmpty()) {
             throw new SettingsFault(faults);
@@ -62,12 +55,23 @@
         return settings;
     }
 
-    /** The lines of an operator's file of at most a megabyte; {@code what} it is, for the fault where it is larger. */
+    private static boolean isBlankOrComment(String line) {
+        String stripped = line.strip();
+        return stripped.isEmpty() || stripped.startsWith("#") || stripped.startsWith(";");
+    }
+
+    /**
+     * Reads the lines of a file that an operator wrote, of at most a megabyte.
+     *
+     * @param what the kind of file, for the fault of one that is larger
+     * @throws SettingsFault if the file is missing, too large or no UTF-8 text
+     * @throws IOException if it can't be read
+     */
     public static List<String> lines(Path file, String what) throws IOException {
         try {
-            if (Files.size(file) > MOST_BYTES) {
+            if (Files.size(file) > MAX_FILE_BYTES) {
                 throw new SettingsFault(
-                        List.of(file + ": more than " + MOST_BYTES + " bytes, " + what + " is smaller"));
+                        List.of(file + ": more than " + MAX_FILE_BYTES + " bytes, " + what + " is smaller"));
             }
             return Files.readAllLines(file);
         } catch (NoSuchFileException e) {
@@ -77,64 +81,74 @@
         }
     }
 
-    private void check(Collection<? extends SettingKey<?>> keys, List<String> faults) {
-        Map<String, SettingKey<?>> known = new LinkedHashMap<>();
-        keys.forEach(k -> known.put(k.path(), k));
-        told.forEach((path, value) -> {
-            SettingKey<?> key = known.get(path);
-            String at = file + ":" + value.line + ": " + path + ": ";
-            String section = path.substring(0, path.indexOf('.'));
-            List<String> siblings = known.values().stream()
-                    .filter(k -> k.section().equals(section))
-                    .map(SettingKey::name)
-                    .toList();
-            if (siblings.isEmpty()) {
-                faults.add(at + "unknown section, allowed: "
-                        + String.join(
-                                ", ",
-                                known.values().stream()
-                                        .map(SettingKey::section)
-                                        .distinct()
-                                        .toList()));
-            } else if (key == null) {
-                faults.add(at + "unknown key, allowed: " + String.join(", ", siblings));
-            } else if (key.read().apply(value.text) == null) {
-                faults.add(at + "'" + value.text + "' can't be used, allowed: " + key.allowed());
+    /** Unknown sections and keys, and values that are not allowed, in the order of the file. */
+    private List<String> valueFaults() {
+        Map<String, SettingKey<?>> keysByPath = new LinkedHashMap<>();
+        SettingKeys.ALL.forEach(key -> keysByPath.put(key.path(), key));
+        List<String> faults = new ArrayList<>();
+        values.forEach((path, value) -> {
+            String place = file + ":" + value.line() + ": " + path + ": ";
+            SettingKey<?> key = keysByPath.get(path);
+            if (key == null) {
+                faults.add(place + unknownKey(path.substring(0, path.indexOf('.'))));
+            } else if (key.parse(value.text()).isEmpty()) {
+                faults.add(place + "'" + value.text() + "' can't be used, allowed: " + key.allowed());
             }
         });
+        return faults;
     }
 
-    private String place(SettingKey<?> key) {
-        Told t = told.get(key.path());
-        return file + (t == null ? ": " : ":" + t.line + ": ");
+    /** Why no key of this section is known by that name. */
+    private static String unknownKey(String section) {
+        List<String> namesInSection = SettingKeys.ALL.stream()
+                .filter(key -> key.section().equals(section))
+                .map(SettingKey::name)
+                .toList();
+        if (!namesInSection.isEmpty()) {
+            return "unknown key, allowed: " + String.join(", ", namesInSection);
+        }
+        List<String> sections =
+                SettingKeys.ALL.stream().map(SettingKey::section).distinct().toList();
+        return "unknown section, allowed: " + String.join(", ", sections);
+    }
+
+    private List<String> conflictFaults() {
+        List<String> faults = new ArrayList<>();
+        for (SettingConflict conflict : SettingConflicts.among(this)) {
+            IniFile.Value value = values.get(conflict.key().path());
+            String place = value == null ? file + ": " : file + ":" + value.line() + ": ";
+            faults.add(place + conflict.key().path() + ": " + conflict.message());
+        }
+        return faults;
     }
 
-    /** A value that the file tells, or its default. */
+    /** The value of a key: the file's, or its default. */
     public <T> T get(SettingKey<T> key) {
-        Told t = told.get(key.path());
-        return t == null ? key.byDefault() : key.read().apply(t.text);
+        IniFile.Value value = values.get(key.path());
+        return value == null ? key.defaultValue() : key.parse(value.text()).orElseThrow();
     }
 
-    public boolean tells(SettingKey<?> key) {
-        return told.containsKey(key.path());
+    /** Whether the file sets a key, be it to its default. */
+    public boolean isSet(SettingKey<?> key) {
+        return values.containsKey(key.path());
     }
 
-    /** The value as text. */
+    /** The value of a key as text. */
     public String text(SettingKey<?> key) {
-        Told t = told.get(key.path());
-        return t == null ? key.absent() : t.text;
+        IniFile.Value value = values.get(key.path());
+        return value == null ? key.defaultText() : value.text();
     }
 
-    /** Where a value comes from: {@code file:line}, or {@code default}. */
+    /** Where a key's value comes from: {@code file:line}, or {@code default}. */
     public String origin(SettingKey<?> key) {
-        Told t = told.get(key.path());
-        return t == null ? "default" : file + ":" + t.line;
+        IniFile.Value value = values.get(key.path());
+        return value == null ? "default" : file + ":" + value.line();
     }
 
-    /** The keys whose values differ in another reading, those that can change live or those that can't. */
-    public List<String> changed(Settings other, Collection<? extends SettingKey<?>> keys, boolean live) {
-        return keys.stream()
-                .filter(k -> k.live() == live && !text(k).equals(other.text(k)))
+    /** The paths of the keys whose values differ in other settings, though a change takes effect at a start only. */
+    public List<String> changedStartKeys(Settings other) {
+        return SettingKeys.ALL.stream()
+                .filter(key -> !key.reloadable() && !text(key).equals(other.text(key)))
                 .map(SettingKey::path)
                 .toList();
     }
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -13,32 +13,33 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The command line as a user meets it. */
+/** The command line, each command in a process of its own. */
 class CommandsTest {
-    private record Ended(int code, String out, String err) {}
+    private record Result(int exitCode, String out, String err) {}
 
     @TempDir
     Path folder;
 
-    private static Ended run(String... args) throws Exception {
-        return given("", args);
+    private static Result run(String... args) throws Exception {
+        return runWithInput("", args);
     }
 
-    private static Ended given(String input, String... args) throws Exception {
+    private static Result runWithInput(String input, String... args) throws Exception {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp",
                 System.getProperty("java.class.path"),
                 "elderseam.Main"));
         command.addAll(List.of(args));
-        Path err = Files.createTempFile("err", "");
-        Process p = new ProcessBuilder(command).redirectError(err.toFile()).start();
-        p.getOutputStream().write(input.getBytes(UTF_8));
-        p.getOutputStream().close();
-        String out = new String(p.getInputStream().readAllBytes(), UTF_8);
-        Ended ended = new Ended(p.waitFor(), out, Files.readString(err));
-        Files.delete(err);
-        return ended;
+        Path errors = Files.createTempFile("err", "");
+        Process process =
+                new ProcessBuilder(command).redirectError(errors.toFile()).start();
+        process.getOutputStream().write(input.getBytes(UTF_8));
+        process.getOutputStream().close();
+        String out = new String(process.getInputStream().readAllBytes(), UTF_8);
+        Result result = new Result(process.waitFor(), out, Files.readString(errors));
+        Files.delete(errors);
+        return result;
     }
 
     @ParameterizedTest
@@ -77,10 +78,10 @@
                 "lab find f"
             })
     void aUsageFaultExitsWith2(String words) throws Exception {
-        Ended e = run(words.isEmpty() ? new String[0] : words.split(" "));
-        assertEquals(2, e.code, e.err);
-        assertEquals("", e.out);
-        assertTrue(e.err.contains("Usage: elderseam"), e.err);
+        Result result = run(words.isEmpty() ? new String[0] : words.split(" "));
+        assertEquals(2, result.exitCode, result.err);
+        assertEquals("", result.out);
+        assertTrue(result.err.contains("Usage: elderseam"), result.err);
     }
 
     @ParameterizedTest
@@ -112,95 +113,98 @@
                 "lab find --help"
             })
     void helpIsEverywhere(String words) throws Exception {
-        Ended e = run(words.split(" "));
-        assertEquals(0, e.code, e.err);
-        assertTrue(e.out.startsWith("Usage: elderseam"), e.out);
-        Ended version = run(words.replace("--help", "--version").split(" "));
-        assertTrue(version.code == 0 && version.out.startsWith("elderseam "), version.toString());
+        Result result = run(words.split(" "));
+        assertEquals(0, result.exitCode, result.err);
+        assertTrue(result.out.startsWith("Usage: elderseam"), result.out);
+        Result version = run(words.replace("--help", "--version").split(" "));
+        assertTrue(version.exitCode == 0 && version.out.startsWith("elderseam "), version.toString());
     }
 
     @Test
     void configCheckAndShow() throws Exception {
         Path good = Files.writeString(folder.resolve("good.ini"), "[events]\nremember_s = 60\n");
         Path bad = Files.writeString(folder.resolve("bad.ini"), "[events]\nremember_s = never\nlisten = nowhere\n");
-        assertEquals(new Ended(0, good + ": no fault\n", ""), run("config", "check", good.toString()));
-        Ended faulty = run("config", "check", bad.toString());
-        assertEquals(1, faulty.code);
+        assertEquals(new Result(0, good + ": no fault\n", ""), run("config", "check", good.toString()));
+        Result faulty = run("config", "check", bad.toString());
+        assertEquals(1, faulty.exitCode);
         assertEquals(
                 bad + ":2: events.remember_s: 'never' can't be used, allowed: 1 to 2592000 seconds\n" + bad
                         + ":3: events.listen: 'nowhere' can't be used, allowed: off, or ADDRESS:PORT\n",
                 faulty.err);
-        Ended shown = run("config", "show", good.toString());
+        Result shown = run("config", "show", good.toString());
         assertTrue(
                 shown.out
                         .lines()
-                        .anyMatch(l -> l.matches("events\\.remember_s +60 +\\Q" + good + "\\E:2 +from the next start")),
+                        .anyMatch(line ->
+                                line.matches("events\\.remember_s +60 +\\Q" + good + "\\E:2 +from the next start")),
                 shown.out);
         assertTrue(
-                shown.out.lines().anyMatch(l -> l.matches("events\\.listen +off +default +from the next start")),
+                shown.out.lines().anyMatch(line -> line.matches("events\\.listen +off +default +from the next start")),
                 shown.out);
-        Ended json = run("config", "show", "--json", good.toString());
+        Result json = run("config", "show", "--json", good.toString());
         assertTrue(
                 json.out.contains(
                         "{\"key\":\"events.remember_s\",\"value\":\"60\",\"from\":\"" + good + ":2\",\"live\":false}"),
                 json.out);
-        assertEquals(1, run("config", "show", folder.resolve("none").toString()).code);
+        assertEquals(1, run("config", "show", folder.resolve("none").toString()).exitCode);
     }
 
-    /** A dispatcher with a faulty file does not start, and says all that is wrong. */
+    /** A dispatcher with a faulty settings file prints every fault and does not start. */
     @Test
     void serveRefusesAFaultyFile() throws Exception {
         Path bad = Files.writeString(folder.resolve("bad.ini"), "[events]\nlisten = 1\nremember_s = 0\n");
-        Ended e = run("serve", bad.toString());
-        assertEquals(1, e.code);
-        assertEquals(2, e.err.lines().count(), e.err);
+        Result result = run("serve", bad.toString());
+        assertEquals(1, result.exitCode);
+        assertEquals(2, result.err.lines().count(), result.err);
     }
 
     /** A key, its line, the roster that takes it; no key is written over; a fault of a roster has its line; a file without gossip. */
     @Test
     void keysAndRoster() throws Exception {
         Path key = folder.resolve("key"), roster = folder.resolve("roster");
-        Ended made = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8,fd00::/8");
-        assertTrue(made.code == 0 && made.out.startsWith("n1 10.0.0.0/8,fd00::/8 "), made.toString());
+        Result made = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8,fd00::/8");
+        assertTrue(made.exitCode == 0 && made.out.startsWith("n1 10.0.0.0/8,fd00::/8 "), made.toString());
         Files.writeString(roster, made.out);
-        Ended list = run("keys", "list", roster.toString(), "--json");
+        Result list = run("keys", "list", roster.toString(), "--json");
         assertEquals(
                 "{\"name\":\"n1\",\"from\":\"10.0.0.0/8,fd00::/8\",\"keys\":[\""
                         + made.out.strip().split(" ")[2] + "\"]}\n",
                 list.out,
                 list.err);
-        Ended again = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8");
-        assertTrue(again.code == 1 && again.err.contains("a key is not written over"), again.toString());
+        Result again = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8");
+        assertTrue(again.exitCode == 1 && again.err.contains("a key is not written over"), again.toString());
         assertEquals(
-                2, run("keys", "new", folder.resolve("k2").toString(), "--name", "n1", "--from", "10.0.0.1/8").code);
+                2,
+                run("keys", "new", folder.resolve("k2").toString(), "--name", "n1", "--from", "10.0.0.1/8").exitCode);
         Files.writeString(roster, made.out + made.out);
-        Ended twice = run("keys", "list", roster.toString());
+        Result twice = run("keys", "list", roster.toString());
         assertTrue(
-                twice.code == 1 && twice.err.contains("roster:2: n1: its key is told of n1 already"), twice.toString());
+                twice.exitCode == 1 && twice.err.contains("roster:2: n1: its key is told of n1 already"),
+                twice.toString());
         Path off = Files.writeString(folder.resolve("off.ini"), "# nothing\n");
-        Ended watch = run("gossip", "watch", off.toString());
-        assertTrue(watch.code == 1 && watch.err.contains("gossip.listen: is off"), watch.toString());
+        Result watch = run("gossip", "watch", off.toString());
+        assertTrue(watch.exitCode == 1 && watch.err.contains("gossip.listen: is off"), watch.toString());
     }
 
-    /** Words for people, one JSON object for programs, a usage fault for a fleet that can't be. */
+    /** Text for people, one JSON object for programs, a usage fault for a fleet that is too small. */
     @Test
-    void aTrialTellsWhatItSaw() throws Exception {
-        Ended words = run("gossip", "trial", "--instances", "3", "--undisturbed", "5");
+    void aSimulationReportsAsTextAndAsJson() throws Exception {
+        Result words = run("gossip", "trial", "--instances", "3", "--undisturbed", "5");
         assertTrue(
-                words.code == 0 && words.out.startsWith("3 instances") && words.out.contains("one killed"),
+                words.exitCode == 0 && words.out.startsWith("3 instances") && words.out.contains("one killed"),
                 words.toString());
-        Ended json = run("gossip", "trial", "--instances", "3", "--undisturbed", "5", "--json", "-");
+        Result json = run("gossip", "trial", "--instances", "3", "--undisturbed", "5", "--json", "-");
         assertTrue(
-                json.code == 0
+                json.exitCode == 0
                         && json.out.startsWith("{\"instances\":3,")
                         && json.out.lines().count() == 1,
                 json.toString());
-        assertEquals(2, run("gossip", "trial", "--instances", "2").code);
+        assertEquals(2, run("gossip", "trial", "--instances", "2").exitCode);
     }
 
-    /** On a desk: faults with places, the tree of an expression, what a request would get, examples that hold and one that does not. */
+    /** Faults with their places, the tree of an expression, what a request would get, examples that hold and one that does not. */
     @Test
-    void rulesOnADesk() throws Exception {
+    void rulesAreCheckedWithoutADispatcher() throws Exception {
         String rules = Files.writeString(folder.resolve("a.rules"), """
                 [rule flood]
                 when = message.class == 'rent-payment' && state.rate > 3.0 * state.share
@@ -217,25 +221,26 @@
         Path config = Files.writeString(
                 folder.resolve("config.json"),
                 "{\"settings\":{\"services\":[{\"name\":\"rent-payment\"}],\"orgs\":[]}}");
-        Ended check = run("rules", "check", rules);
-        assertTrue(check.code == 0 && check.out.contains("no fault, 1 rules, at most"), check.toString());
-        Ended named = run("rules", "check", rules, "--config", config.toString());
+        Result check = run("rules", "check", rules);
+        assertTrue(check.exitCode == 0 && check.out.contains("no fault, 1 rules, at most"), check.toString());
+        Result named = run("rules", "check", rules, "--config", config.toString());
         assertTrue(
-                named.code == 1
+                named.exitCode == 1
                         && named.err.contains(
                                 "a.rules:3:9: rule.flood.class: 'job-order' is no class, allowed: rent-payment"),
                 named.toString());
-        Ended test = run("rules", "test", rules);
+        Result test = run("rules", "test", rules);
         assertTrue(
-                test.code == 1
+                test.exitCode == 1
                         && test.out.contains("holds  flood")
                         && test.out.contains("FAILS  calm")
                         && test.out.contains("2 examples, 1 failed"),
                 test.toString());
-        Ended explain = run("rules", "explain", rules, "size(request.path) > 3");
+        Result explain = run("rules", "explain", rules, "size(request.path) > 3");
         assertTrue(
-                explain.code == 0 && explain.out.contains("gives bool, at most 70 of 20000 units"), explain.toString());
-        Ended eval = given(
+                explain.exitCode == 0 && explain.out.contains("gives bool, at most 70 of 20000 units"),
+                explain.toString());
+        Result eval = runWithInput(
                 "POST /rent-payment\r\nX-Org: a\r\n\r\nbody",
                 "rules",
                 "eval",
@@ -244,19 +249,19 @@
                 "rate=10 share=1",
                 "--json");
         assertTrue(
-                eval.code == 0
+                eval.exitCode == 0
                         && eval.out.contains("\"class\":\"job-order\"")
                         && eval.out.contains("rule flood matches"),
                 eval.toString());
-        Ended none = given("nonsense", "rules", "eval", rules, "--state", "rate=fast");
+        Result none = runWithInput("nonsense", "rules", "eval", rules, "--state", "rate=fast");
         assertTrue(
-                none.code == 1
+                none.exitCode == 1
                         && none.err.contains("'nonsense' is no first line of a request")
                         && none.err.contains("'rate=fast' is no state"),
                 none.toString());
         Path ini = Files.writeString(folder.resolve("e.ini"), "[rules]\nfiles = " + rules + "\nbudget = 100\n");
-        Ended small = run("rules", "check", ini.toString());
-        assertEquals(0, small.code, small.err);
+        Result small = run("rules", "check", ini.toString());
+        assertEquals(0, small.exitCode, small.err);
         assertTrue(run("rules", "explain", ini.toString(), "request.path.contains('abcdefghij')")
                 .err
                 .contains("allowed: 100"));
--- a/src/test/java/elderseam/compat/SettingsCompatTest.java
+++ b/src/test/java/elderseam/compat/SettingsCompatTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.SettingsMap;
 import elderseam.core.SettingsValidator;
@@ -63,37 +63,40 @@
     @Test
     void keysOfTheSettingsFile() throws Exception {
         StringBuilder table = new StringBuilder();
-        for (SettingKey<?> k : SettingKeys.ALL) {
-            table.append(k.path())
+        for (SettingKey<?> key : SettingKeys.ALL) {
+            table.append(key.path())
                     .append(" = ")
-                    .append(k.absent())
+                    .append(key.defaultText())
                     .append(" | ")
-                    .append(k.live() ? "live" : "next start")
+                    .append(key.reloadable() ? "live" : "next start")
                     .append(" | ")
-                    .append(form(k))
+                    .append(form(key))
                     .append('\n');
         }
         RecordedText.check("settings/keys", table.toString());
     }
 
-    private static String form(SettingKey<?> k) {
-        if (k.byDefault() instanceof Long) {
-            Matcher m = BOUNDS.matcher(k.allowed());
-            assertEquals(true, m.matches(), k.path());
-            long least = Long.parseLong(m.group(1)), most = Long.parseLong(m.group(2));
+    private static String form(SettingKey<?> key) {
+        if (key.defaultValue() instanceof Long) {
+            Matcher bounds = BOUNDS.matcher(key.allowed());
+            assertEquals(true, bounds.matches(), key.path());
+            long least = Long.parseLong(bounds.group(1));
+            long most = Long.parseLong(bounds.group(2));
             assertEquals(
                     List.of(least, most),
-                    List.of(k.read().apply(m.group(1)), k.read().apply(m.group(2))),
-                    k.path());
-            assertNull(k.read().apply(Long.toString(least - 1)), k.path());
-            assertNull(k.read().apply(Long.toString(most + 1)), k.path());
+                    List.of(
+                            key.parse(bounds.group(1)).orElseThrow(),
+                            key.parse(bounds.group(2)).orElseThrow()),
+                    key.path());
+            assertTrue(key.parse(Long.toString(least - 1)).isEmpty(), key.path());
+            assertTrue(key.parse(Long.toString(most + 1)).isEmpty(), key.path());
             return "number " + least + " to " + most;
         }
         List<String> accepted = new ArrayList<>();
         SAMPLES.stream()
-                .filter(s -> k.read().apply(s) != null)
-                .forEach(s -> accepted.add(s.length() > 64 ? s.length() + " x" : "'" + s + "'"));
-        return (k.byDefault() instanceof List ? "list: " : "text: ") + String.join(" ", accepted);
+                .filter(sample -> key.parse(sample).isPresent())
+                .forEach(sample -> accepted.add(sample.length() > 64 ? sample.length() + " x" : "'" + sample + "'"));
+        return (key.defaultValue() instanceof List ? "list: " : "text: ") + String.join(" ", accepted);
     }
 
     /** Every path that is looked up, once as a deployment's settings are checked and once as they are taken. */
--- a/src/test/java/elderseam/scenario/DishonestMember.java
+++ b/src/test/java/elderseam/scenario/DishonestMember.java
@@ -8,7 +8,6 @@
 import elderseam.gossip.transport.GossipTransport;
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
-import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -19,8 +18,7 @@
     private DishonestMember() {}
 
     public static void main(String[] args) throws Exception {
-        GossipConfiguration opening =
-                GossipConfiguration.read(Settings.read(Path.of(args[0]), SettingKeys.ALL, SettingKeys.CONTRADICTIONS));
+        GossipConfiguration opening = GossipConfiguration.read(Settings.read(Path.of(args[0])));
         XnioStartup.start();
         IoLoop io = new IoLoop(new Clock());
         io.run(() -> {
--- a/src/test/java/elderseam/settings/SettingsTest.java
+++ b/src/test/java/elderseam/settings/SettingsTest.java
@@ -13,39 +13,38 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** A settings file is taken whole, or each of its faults is told with its place. */
+/** A settings file is read as a whole, or each of its faults is reported with its place. */
 class SettingsTest {
     @TempDir
     Path folder;
 
     private Settings read(String text) throws Exception {
-        return Settings.read(
-                Files.writeString(folder.resolve("s.ini"), text), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
+        return Settings.read(Files.writeString(folder.resolve("s.ini"), text));
     }
 
     private List<String> faults(String text) {
         return assertThrows(SettingsFault.class, () -> read(text)).faults().stream()
-                .map(f -> f.substring(folder.toString().length() + 1))
+                .map(fault -> fault.substring(folder.toString().length() + 1))
                 .toList();
     }
 
     @Test
-    void valuesAndWhereTheyComeFrom() throws Exception {
-        Settings s = read(
+    void valuesKnowTheirOrigin() throws Exception {
+        Settings settings = read(
                 "# a comment\n[events]\nlisten = 127.0.0.1:8080\n\n  webhook_origins = a.example, b.example\n[acme]\n");
-        assertEquals("127.0.0.1:8080", s.get(SettingKeys.EVENTS_LISTEN));
-        assertEquals(List.of("a.example", "b.example"), s.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS));
-        assertEquals(3_600L, s.get(SettingKeys.EVENTS_REMEMBER_S));
-        assertEquals(folder.resolve("s.ini") + ":3", s.origin(SettingKeys.EVENTS_LISTEN));
-        assertEquals("default", s.origin(SettingKeys.EVENTS_REMEMBER_S));
+        assertEquals("127.0.0.1:8080", settings.get(SettingKeys.EVENTS_LISTEN));
+        assertEquals(List.of("a.example", "b.example"), settings.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS));
+        assertEquals(3_600L, settings.get(SettingKeys.EVENTS_REMEMBER_S));
+        assertEquals(folder.resolve("s.ini") + ":3", settings.origin(SettingKeys.EVENTS_LISTEN));
+        assertEquals("default", settings.origin(SettingKeys.EVENTS_REMEMBER_S));
         assertEquals(
                 List.of("events.listen", "events.webhook_origins"),
-                Settings.none().changed(s, SettingKeys.ALL, false));
+                Settings.none().changedStartKeys(settings));
     }
 
-    /** All at once, in the order of the file. */
+    /** The faults of form first, then those of values, each in the order of the file. */
     @Test
-    void everyFaultIsTold() {
+    void everyFaultIsReported() {
         assertEquals(
                 List.of(
                         "s.ini:1: stray: before any section, allowed: below a [section]",
@@ -82,37 +81,40 @@
                 "[events];[events]|s.ini:2: section events stands at line 1 already",
                 "[ev ents]|s.ini:1: '[ev ents]' is no setting"
             })
-    void whatCanNotStand(String lines, String fault) {
-        List<String> told = faults(lines.replace(';', '\n') + "\n");
-        assertTrue(told.get(0).startsWith(fault), told::toString);
+    void aFileWithAFaultIsRefused(String lines, String fault) {
+        List<String> faults = faults(lines.replace(';', '\n') + "\n");
+        assertTrue(faults.get(0).startsWith(fault), faults::toString);
     }
 
     @Test
-    void whatIsNoTextFile() throws Exception {
+    void aFileThatIsNoTextIsRefused() throws Exception {
         Files.write(folder.resolve("s.ini"), new byte[] {'[', (byte) 0xff, ']'});
-        assertTrue(assertThrows(
-                        SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), SettingKeys.ALL, List.of()))
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini")))
                 .getMessage()
                 .endsWith("not UTF-8 text"));
         Files.write(folder.resolve("s.ini"), "#".repeat(2 << 20).getBytes(StandardCharsets.UTF_8));
-        assertTrue(assertThrows(
-                        SettingsFault.class, () -> Settings.read(folder.resolve("s.ini"), SettingKeys.ALL, List.of()))
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("s.ini")))
                 .getMessage()
                 .contains("a settings file is smaller"));
-        assertTrue(assertThrows(
-                        SettingsFault.class, () -> Settings.read(folder.resolve("none"), SettingKeys.ALL, List.of()))
+        assertTrue(assertThrows(SettingsFault.class, () -> Settings.read(folder.resolve("none")))
                 .getMessage()
                 .endsWith("there is no such file"));
     }
 
+    /** Conflicts are looked for only where a file sets anything. */
+    @Test
+    void theDefaultsHaveNoConflict() {
+        assertEquals(List.of(), SettingConflicts.among(Settings.none()));
+    }
+
     /** The file that ships shows the defaults in its comments, all of them and as they are. */
     @Test
     void theShippedFileShowsTheDefaults() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("deploy/elderseam.ini"));
-        Settings shipped = Settings.read(Path.of("deploy/elderseam.ini"), SettingKeys.ALL, SettingKeys.CONTRADICTIONS);
-        for (SettingKey<?> k : SettingKeys.ALL) {
-            assertEquals("default", shipped.origin(k));
-            assertTrue(lines.contains(("# " + k.name() + " = " + k.absent()).stripTrailing()), k.path());
+        Settings shipped = Settings.read(Path.of("deploy/elderseam.ini"));
+        for (SettingKey<?> key : SettingKeys.ALL) {
+            assertEquals("default", shipped.origin(key));
+            assertTrue(lines.contains(("# " + key.name() + " = " + key.defaultText()).stripTrailing()), key.path());
         }
     }
 }
