ACME: the certificate's files, order and challenge answers are classes of their own

Cause: CertificateManager scheduled, ordered, stored keys and answered challenges in 285 lines; names such as told, heard and passed hid its state. Change: CertificateStore, CertificateOrder and ChallengeAnswers; the manager decides when. Stored and sealed bytes are the same.

--- a/src/main/java/elderseam/acme/CertificateBundle.java
+++ b/src/main/java/elderseam/acme/CertificateBundle.java
@@ -14,62 +14,85 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.shredzone.acme4j.util.KeyPairUtils;
 
-/** A certificate as one member passes it on to the others: the private key and the chain, each PEM text. */
+/**
+ * A certificate as the member that ordered it publishes it to the others; the property names are part of the group's log.
+ *
+ * @param key the private key, as PEM text
+ * @param chain the certificate and those that signed it, as PEM text
+ */
 record CertificateBundle(
         @JsonProperty("key") String key,
         @JsonProperty("chain") String chain) {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int DNS = 2; // of GeneralName, RFC 5280
 
+    /** The type of a DNS name among a certificate's alternative names: GeneralName, RFC 5280. */
+    private static final int DNS_NAME = 2;
+
+    /** The bundle as JSON. */
     byte[] encoded() throws IOException {
         return JSON.writeValueAsBytes(this);
     }
 
-    static CertificateBundle of(byte[] bytes) throws IOException {
+    /**
+     * The bundle of such JSON.
+     *
+     * @throws IOException if the bytes are not a bundle
+     */
+    static CertificateBundle decode(byte[] bytes) throws IOException {
         return JSON.readValue(bytes, CertificateBundle.class);
     }
 
-    static List<X509Certificate> chain(byte[] pem) throws GeneralSecurityException {
+    /** The certificates of PEM text, the one that is served first. */
+    static List<X509Certificate> parseChain(byte[] pem) throws GeneralSecurityException {
         return CertificateFactory.getInstance("X.509").generateCertificates(new ByteArrayInputStream(pem)).stream()
                 .map(X509Certificate.class::cast)
                 .toList();
     }
 
-    /** What speaks against serving this for {@code names} at {@code now}, or null. */
-    String fault(Collection<String> names, Instant now) {
+    private List<X509Certificate> certificates() throws GeneralSecurityException {
+        return parseChain(chain.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Why this can't be served for these names now; empty where it can. */
+    Optional<String> findFault(Collection<String> names, Instant now) {
         try {
-            List<X509Certificate> all = chain(chain.getBytes(StandardCharsets.US_ASCII));
+            List<X509Certificate> certificates = certificates();
             KeyPair pair = KeyPairUtils.readKeyPair(new StringReader(key));
-            if (all.isEmpty() || !all.get(0).getPublicKey().equals(pair.getPublic())) {
-                return "its chain is not its key's";
+            if (certificates.isEmpty() || !certificates.get(0).getPublicKey().equals(pair.getPublic())) {
+                return Optional.of("its chain is not its key's");
             }
-            Set<String> told = new HashSet<>();
-            Collection<List<?>> alternatives = all.get(0).getSubjectAlternativeNames();
-            for (List<?> name : alternatives == null ? List.<List<?>>of() : alternatives) {
-                if (name.get(0).equals(DNS)) {
-                    told.add((String) name.get(1));
-                }
+            X509Certificate served = certificates.get(0);
+            Set<String> certified = dnsNames(served);
+            if (!certified.containsAll(names)) {
+                return Optional.of("it is for " + certified + ", not for " + names);
             }
-            if (!told.containsAll(names)) {
-                return "it is for " + told + ", not for " + names;
+            Instant end = served.getNotAfter().toInstant();
+            return now.isBefore(end) ? Optional.empty() : Optional.of("it ended at " + end);
+        } catch (GeneralSecurityException | IOException | RuntimeException e) { // the libraries throw any for bad bytes
+            return Optional.of("it can't be read: " + e.getMessage());
+        }
+    }
+
+    private static Set<String> dnsNames(X509Certificate certificate) throws GeneralSecurityException {
+        Set<String> names = new HashSet<>();
+        Collection<List<?>> alternatives = certificate.getSubjectAlternativeNames();
+        if (alternatives == null) {
+            return names;
+        }
+        for (List<?> alternative : alternatives) { // its type and its value
+            if (alternative.get(0).equals(DNS_NAME)) {
+                names.add((String) alternative.get(1));
             }
-            return now.isBefore(all.get(0).getNotAfter().toInstant())
-                    ? null
-                    : "it ended at " + all.get(0).getNotAfter().toInstant();
-        } catch (GeneralSecurityException
-                | IOException
-                | RuntimeException e) { // whatever the libraries make of bytes that are none
-            return "it can't be read: " + e.getMessage();
         }
+        return names;
     }
 
-    Instant begins() throws GeneralSecurityException {
-        return chain(chain.getBytes(StandardCharsets.US_ASCII))
-                .get(0)
-                .getNotBefore()
-                .toInstant();
+    /** From when on the certificate is valid. */
+    Instant notBefore() throws GeneralSecurityException {
+        return certificates().get(0).getNotBefore().toInstant();
     }
 }
--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -3,283 +3,221 @@
 import elderseam.http.HttpServer.Answerer;
 import elderseam.http.HttpServer.Request;
 import java.io.IOException;
-import java.io.Reader;
-import java.io.StringWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.security.GeneralSecurityException;
-import java.security.KeyPair;
-import java.security.KeyStore;
 import java.security.Security;
-import java.security.cert.Certificate;
 import java.security.cert.X509Certificate;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import javax.net.ssl.KeyManagerFactory;
 import javax.net.ssl.SSLContext;
 import org.bouncycastle.jce.provider.BouncyCastleProvider;
-import org.shredzone.acme4j.Account;
-import org.shredzone.acme4j.AccountBuilder;
-import org.shredzone.acme4j.Authorization;
-import org.shredzone.acme4j.Order;
-import org.shredzone.acme4j.Session;
-import org.shredzone.acme4j.Status;
-import org.shredzone.acme4j.challenge.Http01Challenge;
 import org.shredzone.acme4j.exception.AcmeException;
-import org.shredzone.acme4j.util.KeyPairUtils;
 
 /**
- * The certificate of the CloudEvents listener, from an ACME authority (RFC 8555, http-01). Key and chain are kept in a
- * folder, used again at the next start, and renewed when a third of their time is left. Its work blocks, so it has
- * a thread of its own; what it shares with other threads is the answers to challenges and the context it hands over.
+ * Keeps the certificate of the CloudEvents listener current. It is stored in a folder, used again at the next start, and
+ * renewed when a third of its validity is left. The work blocks, so it has a thread of its own; the public methods may be
+ * called by any thread.
  *
- * <p>With a {@link SharedCertificateOrder} one member of a fleet orders for all. Until that one's certificate comes, the others serve by the
- * one that they have, or not at all; half of the margin before theirs ends each orders for itself.
+ * <p>With a {@link SharedCertificateOrder} one member of a fleet orders for all. Until its certificate comes, the others
+ * serve the one that they have, or none; at half of the time between the renewal and the end of theirs, each orders by
+ * itself.
  */
 public final class CertificateManager {
     static {
         Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
 
-    private static final Duration ORDER = Duration.ofSeconds(60),
-            AGAIN = Duration.ofSeconds(30),
-            LOOK = Duration.ofSeconds(1),
-            FIRST = Duration.ofMinutes(3); // while another orders; for the very first one
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration RETRY_DELAY = Duration.ofSeconds(30);
+
+    /** How often a member of a fleet looks whether it is the one that orders. */
+    private static final Duration FLEET_CHECK_INTERVAL = Duration.ofSeconds(1);
+
+    /** How long a member without any certificate waits for that of another before it orders by itself. */
+    private static final Duration FIRST_CERTIFICATE_PATIENCE = Duration.ofMinutes(3);
+
+    private static final long MIN_CHECK_DELAY_MS = 1_000;
+
+    /** The part of a certificate's validity that is left when it is renewed: one third. */
+    private static final int RENEWAL_DIVISOR = 3;
 
-    private final String directory;
     private final List<String> names;
-    private final Path folder;
-    private final Consumer<SSLContext> renewed;
-    private final SharedCertificateOrder sharing; // null where each orders for itself
-    private final Instant began = Instant.now();
-    private final Map<String, String> challenges = new ConcurrentHashMap<>();
-    private volatile Map<String, String> others = Map.of(); // challenges of the member that orders
-    private byte[] heard; // what another passed on and was not looked at yet; this and the next two of its own thread
-    private byte[] passed = {}; // the last bundle that this member passed on or took over
-    private boolean told; // of a first context
-    private ScheduledFuture<?> next;
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(r -> {
-        Thread t = new Thread(r, "certificates");
-        t.setDaemon(true);
-        return t;
+    private final Consumer<SSLContext> onContext;
+    private final SharedCertificateOrder fleet; // null where each member orders its own
+    private final CertificateStore store;
+    private final CertificateOrder order;
+    private final ChallengeAnswers challengeAnswers = new ChallengeAnswers();
+    private final Instant startedAt = Instant.now();
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread created = new Thread(task, "certificates");
+        created.setDaemon(true);
+        return created;
     });
 
-    /** {@code renewed} is told of the first context and of each later one, on this class's own thread. */
-    public CertificateManager(String directory, List<String> names, Path folder, Consumer<SSLContext> renewed) {
-        this(directory, names, folder, renewed, null);
-    }
-
-    /** {@code sharing}: with a fleet, or null. */
+    // Of the manager's thread alone:
+    private byte[] receivedBundle; // published by another member and not looked at yet; else null
+    private byte[] lastSharedBundle = {}; // that this member published or took over
+    private boolean contextDelivered;
+    private ScheduledFuture<?> nextCheck;
+
+    /** Certificates that each member orders for itself: {@link #CertificateManager(String, List, Path, Consumer, SharedCertificateOrder)}. */
+    public CertificateManager(String directory, List<String> names, Path folder, Consumer<SSLContext> onContext) {
+        this(directory, names, folder, onContext, null);
+    }
+
+    /**
+     * Prepares the certificate; {@link #start} begins.
+     *
+     * @param directory the URL of the ACME authority's directory
+     * @param names the DNS names that the certificate is for
+     * @param folder where keys and chain are stored
+     * @param onContext gets the first context and each renewed one, on the manager's thread
+     * @param fleet one order for all members, or null where each orders for itself
+     */
     public CertificateManager(
             String directory,
             List<String> names,
             Path folder,
-            Consumer<SSLContext> renewed,
-            SharedCertificateOrder sharing) {
-        this.directory = directory;
+            Consumer<SSLContext> onContext,
+            SharedCertificateOrder fleet) {
         this.names = names;
-        this.folder = folder;
-        this.renewed = renewed;
-        this.sharing = sharing;
+        this.onContext = onContext;
+        this.fleet = fleet;
+        this.store = new CertificateStore(folder);
+        this.order = new CertificateOrder(directory, names, store, challengeAnswers, fleet);
     }
 
+    /** Begins with the stored certificate, or an order. */
     public void start() {
-        thread.execute(this::keep);
+        thread.execute(this::check);
     }
 
-    /** What the member that orders has passed on: answers to the authority's looks, and a bundle, or null. Any thread. */
-    public void heard(Map<String, String> answers, byte[] bundle) {
-        others = answers;
+    /**
+     * The ordering member has published.
+     *
+     * @param answers its answers to challenges, by token
+     * @param bundle a new certificate, or null
+     */
+    public void onPublished(Map<String, String> answers, byte[] bundle) {
+        challengeAnswers.publish(answers);
         if (bundle != null) {
-            thread.execute(() -> {
-                heard = bundle;
-                if (next != null && next.cancel(false)) { // else it looks soon
-                    keep();
-                }
-            });
+            thread.execute(() -> receive(bundle));
         }
     }
 
-    /** Answers the authority's look at {@code /.well-known/acme-challenge/TOKEN}. */
-    public void challenge(Request r, Answerer to) {
-        String authorization = answer(r.path());
-        to.answer(
-                authorization == null ? 404 : 200,
-                Map.of("Content-Type", "application/octet-stream"),
-                authorization == null ? "" : authorization);
+    private void receive(byte[] bundle) {
+        receivedBundle = bundle;
+        if (nextCheck != null && nextCheck.cancel(false)) { // else a check is about to run
+            check();
+        }
     }
 
-    /** Whether there is an answer to a look at that path. */
-    public boolean proves(String path) {
-        return answer(path) != null;
+    /** Answers the authority's request for {@code /.well-known/acme-challenge/TOKEN}, with 404 for an unknown token. */
+    public void answerChallenge(Request request, Answerer answerer) {
+        Optional<String> answer = challengeAnswers.forPath(request.path());
+        answerer.answer(
+                answer.isPresent() ? 200 : 404, Map.of("Content-Type", "application/octet-stream"), answer.orElse(""));
     }
 
-    private String answer(String path) {
-        String token = path.replaceFirst("^/\\.well-known/acme-challenge/", "");
-        return challenges.getOrDefault(token, others.get(token));
+    /** Whether there is an answer to a request for this path. */
+    public boolean knowsChallenge(String path) {
+        return challengeAnswers.forPath(path).isPresent();
     }
 
-    private void keep() {
-        Instant at = Instant.now().plus(AGAIN);
+    /** Does what is due, and schedules itself anew. */
+    private void check() {
+        Instant nextCheckAt = Instant.now().plus(RETRY_DELAY);
         try {
-            boolean fresh = takeOver();
-            List<X509Certificate> chain = stored();
-            Instant now = Instant.now(), dueAt = chain.isEmpty() ? began : renewAt(chain.get(0));
-            if (!now.isBefore(dueAt) && mine(now, dueAt, chain)) {
-                order(Instant.now().plus(ORDER));
-                chain = stored();
-                fresh = true;
-            }
-            if (!chain.isEmpty() && (fresh || !told)) {
-                renewed.accept(context(chain));
-                told = true;
-            }
-            at = sharing != null ? Instant.now().plus(LOOK) : renewAt(chain.get(0));
-            if (sharing != null && !chain.isEmpty() && Instant.now().isBefore(renewAt(chain.get(0)))) {
-                pass();
-            }
+            List<X509Certificate> chain = keepCurrent();
+            nextCheckAt = fleet != null ? Instant.now().plus(FLEET_CHECK_INTERVAL) : renewalOf(chain.get(0));
+            publish(chain);
         } catch (AcmeException | IOException | GeneralSecurityException | RuntimeException e) {
             System.err.println("certificates: " + e.getMessage());
         } catch (InterruptedException e) {
             return;
         }
-        next = thread.schedule(
-                this::keep, Math.max(1_000, Duration.between(Instant.now(), at).toMillis()), TimeUnit.MILLISECONDS);
+        long delayMs = Duration.between(Instant.now(), nextCheckAt).toMillis();
+        nextCheck = thread.schedule(this::check, Math.max(MIN_CHECK_DELAY_MS, delayMs), TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes over or orders a certificate that is due, delivers a new one, and returns its chain; empty where there is none. */
+    private List<X509Certificate> keepCurrent()
+            throws AcmeException, IOException, GeneralSecurityException, InterruptedException {
+        boolean isNew = takeOver();
+        List<X509Certificate> chain = store.chain();
+        if (isOrderDue(chain)) {
+            order.place(Instant.now().plus(ORDER_TIMEOUT));
+            chain = store.chain();
+            isNew = true;
+        }
+        if (!chain.isEmpty() && (isNew || !contextDelivered)) {
+            onContext.accept(store.sslContext(chain));
+            contextDelivered = true;
+        }
+        return chain;
+    }
+
+    private boolean isOrderDue(List<X509Certificate> chain) {
+        Instant now = Instant.now();
+        Instant dueAt = chain.isEmpty() ? startedAt : renewalOf(chain.get(0));
+        return !now.isBefore(dueAt) && (fleet == null || fleet.isOrderedHere(now, dueAt, ownOrderAt(dueAt, chain)));
     }
 
-    private boolean mine(Instant now, Instant dueAt, List<X509Certificate> chain) {
-        Instant lastAt = chain.isEmpty()
-                ? began.plus(FIRST)
-                : dueAt.plus(Duration.between(dueAt, chain.get(0).getNotAfter().toInstant())
-                        .dividedBy(2));
-        return sharing == null || sharing.mine(now, dueAt, lastAt);
+    /** From when on this member does not wait for another's order any more. */
+    private Instant ownOrderAt(Instant dueAt, List<X509Certificate> chain) {
+        if (chain.isEmpty()) {
+            return startedAt.plus(FIRST_CERTIFICATE_PATIENCE);
+        }
+        Instant end = chain.get(0).getNotAfter().toInstant();
+        return dueAt.plus(Duration.between(dueAt, end).dividedBy(2));
     }
 
-    /** Keeps what another has passed on, where it is newer than what is here and fits; whether it did. */
+    /** Stores the received bundle if it is newer than the stored one and can be served; returns whether it did. */
     private boolean takeOver() throws IOException, GeneralSecurityException {
-        byte[] bytes = heard;
-        heard = null;
-        if (bytes == null || Arrays.equals(bytes, passed)) {
+        byte[] bytes = receivedBundle;
+        receivedBundle = null;
+        if (bytes == null || Arrays.equals(bytes, lastSharedBundle)) {
             return false;
         }
-        CertificateBundle bundle = CertificateBundle.of(bytes);
-        String fault = bundle.fault(names, Instant.now());
-        if (fault != null) {
-            throw new IOException("the one that was passed on: " + fault);
+        CertificateBundle bundle = CertificateBundle.decode(bytes);
+        Optional<String> fault = bundle.findFault(names, Instant.now());
+        if (fault.isPresent()) {
+            throw new IOException("the one that was passed on: " + fault.get());
         }
-        List<X509Certificate> own = stored();
-        if (!own.isEmpty() && !bundle.begins().isAfter(own.get(0).getNotBefore().toInstant())) {
+        List<X509Certificate> own = store.chain();
+        if (!own.isEmpty()
+                && !bundle.notBefore().isAfter(own.get(0).getNotBefore().toInstant())) {
             return false;
         }
-        Files.createDirectories(folder);
-        Files.deleteIfExists(folder.resolve("chain.pem")); // a chain beside another's key serves nobody: none is better
-        put("key.pem", bundle.key());
-        put("chain.pem", bundle.chain());
-        passed = bytes;
+        store.replace(bundle);
+        lastSharedBundle = bytes;
         System.err.println("certificates: another member's order is taken over");
         return true;
     }
 
-    /** The holder's certificate for the others, once, be it one of before the fleet. */
-    private void pass() throws IOException {
-        CertificateBundle own = new CertificateBundle(
-                Files.readString(folder.resolve("key.pem")), Files.readString(folder.resolve("chain.pem")));
-        byte[] bytes = own.encoded();
-        if (!Arrays.equals(bytes, passed) && sharing.pass(bytes)) {
-            passed = bytes;
-        }
-    }
-
-    private static Instant renewAt(X509Certificate c) {
-        Instant from = c.getNotBefore().toInstant(), to = c.getNotAfter().toInstant();
-        return to.minus(Duration.between(from, to).dividedBy(3));
-    }
-
-    private void order(Instant by) throws AcmeException, IOException, InterruptedException {
-        Account account = new AccountBuilder()
-                .agreeToTermsOfService()
-                .useKeyPair(key("account.pem"))
-                .create(new Session(directory));
-        Order order = account.newOrder().domains(names).create();
-        try {
-            for (Authorization a : order.getAuthorizations()) {
-                Http01Challenge c = a.findChallenge(Http01Challenge.class)
-                        .orElseThrow(() -> new AcmeException("no http-01 challenge is offered"));
-                if (a.getStatus() != Status.VALID) {
-                    challenges.put(c.getToken(), c.getAuthorization());
-                    if (sharing != null) {
-                        sharing.challenges(challenges); // known to all before the authority looks
-                    }
-                    c.trigger();
-                }
-            }
-            check(order.waitUntilReady(Duration.between(Instant.now(), by)), Status.READY);
-            order.execute(key("key.pem"));
-            check(order.waitForCompletion(Duration.between(Instant.now(), by)), Status.VALID);
-        } finally {
-            challenges.clear();
-        }
-        StringWriter chain = new StringWriter();
-        order.getCertificate().writeCertificate(chain);
-        put("chain.pem", chain.toString());
-    }
-
-    /** Writes a file that its owner alone may read, whole or not at all. */
-    private void put(String name, String text) throws IOException {
-        Path fresh = folder.resolve(name + ".new");
-        Files.deleteIfExists(fresh);
-        Files.createFile(fresh, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
-        Files.writeString(fresh, text);
-        Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
-    }
-
-    private static void check(Status is, Status wanted) throws AcmeException {
-        if (is != wanted) {
-            throw new AcmeException("the order is " + is + ", not " + wanted);
-        }
-    }
-
-    /** The key of that file, made and readable by its owner alone if it is not there. */
-    private KeyPair key(String name) throws IOException {
-        Path file = folder.resolve(name);
-        if (!Files.exists(file)) {
-            Files.createDirectories(folder);
-            StringWriter text = new StringWriter();
-            KeyPairUtils.writeKeyPair(KeyPairUtils.createECKeyPair("secp256r1"), text);
-            put(name, text.toString());
-        }
-        try (Reader in = Files.newBufferedReader(file)) {
-            return KeyPairUtils.readKeyPair(in);
+    /** Publishes the stored certificate for the other members, once, even if it is from before the fleet. */
+    private void publish(List<X509Certificate> chain) throws IOException {
+        if (fleet == null || chain.isEmpty() || !Instant.now().isBefore(renewalOf(chain.get(0)))) {
+            return;
         }
-    }
-
-    private List<X509Certificate> stored() throws IOException, GeneralSecurityException {
-        Path file = folder.resolve("chain.pem");
-        if (!Files.exists(file)) {
-            return List.of();
+        byte[] bytes = store.bundle().encoded();
+        if (!Arrays.equals(bytes, lastSharedBundle) && fleet.publishBundle(bytes)) {
+            lastSharedBundle = bytes;
         }
-        return CertificateBundle.chain(Files.readAllBytes(file));
     }
 
-    private SSLContext context(List<X509Certificate> chain) throws IOException, GeneralSecurityException {
-        KeyStore store = KeyStore.getInstance("PKCS12");
-        store.load(null, null);
-        store.setKeyEntry("events", key("key.pem").getPrivate(), new char[0], chain.toArray(new Certificate[0]));
-        KeyManagerFactory keys = KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
-        keys.init(store, new char[0]);
-        SSLContext context = SSLContext.getInstance("TLS");
-        context.init(keys.getKeyManagers(), null, null);
-        return context;
+    private static Instant renewalOf(X509Certificate certificate) {
+        Instant begin = certificate.getNotBefore().toInstant();
+        Instant end = certificate.getNotAfter().toInstant();
+        return end.minus(Duration.between(begin, end).dividedBy(RENEWAL_DIVISOR));
     }
 }
--- a/src/main/java/elderseam/acme/SecretSealer.java
+++ b/src/main/java/elderseam/acme/SecretSealer.java
@@ -18,41 +18,63 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * What members of a fleet pass on sealed, since the group's log lies open on every member's disk and links: AES-256 in Galois
- * counter mode (NIST SP 800-38D), a random nonce of 96 bits before each text, by a key that the operator puts on every member in a
- * file that only its owner may read (32 bytes in base64, as {@code keys seal} writes it).
+ * Encrypts secrets that the members of a fleet exchange through the group's log, which anybody with access to a member's
+ * disk or links can read. AES-256 in Galois/Counter Mode (NIST SP 800-38D) with a random nonce of 96 bits, which is stored
+ * before the ciphertext. The operator puts the key on every member, as a file that only its owner may read: 32 bytes in
+ * base64, as {@code keys seal} writes it. Any thread.
  */
 public final class SecretSealer {
-    private static final int KEY = 32, NONCE = 12, TAG_BITS = 128;
-    private static final String OWNER = "rw-------";
+    private static final String KEY_ALGORITHM = "AES";
+    private static final String CIPHER = "AES/GCM/NoPadding";
+    private static final int KEY_BYTES = 32;
+    private static final int NONCE_BYTES = 12;
+    private static final int TAG_BITS = 128;
+    private static final String OWNER_ONLY = "rw-------";
+
+    /** What the permissions of a key file must end with: none for its group and for others. */
+    private static final String NO_GROUP_AND_OTHERS = "------";
 
     private final SecretKeySpec key;
     private final SecureRandom random;
 
     private SecretSealer(byte[] key, SecureRandom random) {
-        this.key = new SecretKeySpec(key, "AES");
+        this.key = new SecretKeySpec(key, KEY_ALGORITHM);
         this.random = random;
     }
 
-    /** Makes a key in a file that must not be there yet. */
-    public static void make(Path file, SecureRandom random) throws IOException {
-        byte[] key = new byte[KEY];
+    /**
+     * Makes a key and writes it to a new file.
+     *
+     * @throws java.nio.file.FileAlreadyExistsException if the file exists
+     * @throws IOException if it can't be written
+     */
+    public static void createKeyFile(Path file, SecureRandom random) throws IOException {
+        byte[] key = new byte[KEY_BYTES];
         random.nextBytes(key);
-        Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString(OWNER)));
+        Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString(OWNER_ONLY)));
         Files.writeString(file, Base64.getEncoder().encodeToString(key) + "\n");
     }
 
-    /** The seal of a key file; what is wrong with the file is told as a fault of the settings. */
-    public static SecretSealer read(Path file, SecureRandom random) throws IOException {
+    /**
+     * Reads a key file.
+     *
+     * @param random where nonces come from
+     * @throws SettingsFault if the file is missing, is no key, or may be read by others than its owner
+     * @throws IOException if it can't be read
+     */
+    public static SecretSealer readKeyFile(Path file, SecureRandom random) throws IOException {
         try {
-            String rights = PosixFilePermissions.toString(Files.getPosixFilePermissions(file));
-            if (!rights.endsWith("------")) {
-                throw fault(file, "others than its owner may use it (" + rights + "), allowed: " + OWNER + " or less");
+            String permissions = PosixFilePermissions.toString(Files.getPosixFilePermissions(file));
+            if (!permissions.endsWith(NO_GROUP_AND_OTHERS)) {
+                throw fault(
+                        file,
+                        "others than its owner may use it (" + permissions + "), allowed: " + OWNER_ONLY + " or less");
             }
-            byte[] key = Base64.getDecoder()
-                    .decode(Files.readString(file, StandardCharsets.ISO_8859_1).strip());
-            if (key.length != KEY) {
-                throw fault(file, key.length + " bytes, allowed: " + KEY + " in base64, as `keys seal` writes them");
+            String text = Files.readString(file, StandardCharsets.ISO_8859_1).strip();
+            byte[] key = Base64.getDecoder().decode(text);
+            if (key.length != KEY_BYTES) {
+                throw fault(
+                        file, key.length + " bytes, allowed: " + KEY_BYTES + " in base64, as `keys seal` writes them");
             }
             return new SecretSealer(key, random);
         } catch (NoSuchFileException e) {
@@ -62,44 +84,54 @@
         }
     }
 
-    private static SettingsFault fault(Path file, String words) {
-        return new SettingsFault(List.of(file + ": " + words));
+    private static SettingsFault fault(Path file, String message) {
+        return new SettingsFault(List.of(file + ": " + message));
     }
 
-    /** {@code plain} sealed, as base64; it opens for the same {@code about} alone. */
-    public String close(byte[] plain, String about) {
-        byte[] nonce = new byte[NONCE];
+    /**
+     * Encrypts a secret.
+     *
+     * @param context what the secret is about; it can be opened for the same context only
+     * @return nonce and ciphertext, as base64
+     */
+    public String seal(byte[] plaintext, String context) {
+        byte[] nonce = new byte[NONCE_BYTES];
         random.nextBytes(nonce);
         try {
-            Cipher cipher = Cipher.getInstance("AES/GCM/NoPadding");
-            cipher.init(Cipher.ENCRYPT_MODE, key, new GCMParameterSpec(TAG_BITS, nonce));
-            cipher.updateAAD(about.getBytes(StandardCharsets.UTF_8));
-            byte[] sealed = cipher.doFinal(plain);
-            return Base64.getEncoder()
-                    .encodeToString(ByteBuffer.allocate(NONCE + sealed.length)
-                            .put(nonce)
-                            .put(sealed)
-                            .array());
+            Cipher cipher = cipher(Cipher.ENCRYPT_MODE, new GCMParameterSpec(TAG_BITS, nonce), context);
+            byte[] ciphertext = cipher.doFinal(plaintext);
+            ByteBuffer sealed = ByteBuffer.allocate(NONCE_BYTES + ciphertext.length);
+            sealed.put(nonce).put(ciphertext);
+            return Base64.getEncoder().encodeToString(sealed.array());
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("every JDK has AES/GCM", e);
         }
     }
 
-    /** What was sealed about this, or an IOException: another key, other bytes, or about something else. */
-    public byte[] open(String text, String about) throws IOException {
+    /**
+     * Decrypts what {@link #seal} returned.
+     *
+     * @throws IOException if it was sealed with another key or for another context, or was changed
+     */
+    public byte[] open(String sealed, String context) throws IOException {
         try {
-            byte[] all = Base64.getDecoder().decode(text);
-            if (all.length < NONCE + TAG_BITS / 8) {
-                throw new IOException("sealed text of " + all.length + " bytes, too short");
+            byte[] bytes = Base64.getDecoder().decode(sealed);
+            if (bytes.length < NONCE_BYTES + TAG_BITS / Byte.SIZE) {
+                throw new IOException("sealed text of " + bytes.length + " bytes, too short");
             }
-            Cipher cipher = Cipher.getInstance("AES/GCM/NoPadding");
-            cipher.init(Cipher.DECRYPT_MODE, key, new GCMParameterSpec(TAG_BITS, all, 0, NONCE));
-            cipher.updateAAD(about.getBytes(StandardCharsets.UTF_8));
-            return cipher.doFinal(all, NONCE, all.length - NONCE);
+            GCMParameterSpec nonce = new GCMParameterSpec(TAG_BITS, bytes, 0, NONCE_BYTES);
+            return cipher(Cipher.DECRYPT_MODE, nonce, context).doFinal(bytes, NONCE_BYTES, bytes.length - NONCE_BYTES);
         } catch (AEADBadTagException e) {
             throw new IOException("sealed by another key, or changed on its way", e);
         } catch (GeneralSecurityException | IllegalArgumentException e) {
             throw new IOException("no sealed text: " + e.getMessage(), e);
         }
     }
+
+    private Cipher cipher(int mode, GCMParameterSpec nonce, String context) throws GeneralSecurityException {
+        Cipher cipher = Cipher.getInstance(CIPHER);
+        cipher.init(mode, key, nonce);
+        cipher.updateAAD(context.getBytes(StandardCharsets.UTF_8));
+        return cipher;
+    }
 }
--- a/src/main/java/elderseam/acme/SharedCertificateOrder.java
+++ b/src/main/java/elderseam/acme/SharedCertificateOrder.java
@@ -3,17 +3,22 @@
 import java.time.Instant;
 import java.util.Map;
 
-/** One order for a whole fleet, as {@link CertificateManager} needs it: whose turn it is, and how the rest hear. On its thread. */
+/**
+ * One certificate order for a whole fleet, as {@link CertificateManager} needs it: which member orders, and how the others
+ * get the result. Called on the manager's thread; the methods may block.
+ */
 public interface SharedCertificateOrder {
     /**
-     * Whether this member orders now. {@code dueAt}: since when an order is due; {@code lastAt}: from when on nobody is waited
-     * for any more.
+     * Whether this member orders now.
+     *
+     * @param dueAt since when an order is due
+     * @param ownOrderAt from when on this member orders by itself, whoever else may
      */
-    boolean mine(Instant now, Instant dueAt, Instant lastAt);
+    boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt);
 
-    /** Passes on the answers to the authority's looks, by their tokens: it may look at any member. */
-    void challenges(Map<String, String> answers);
+    /** Publishes the answers to the authority's challenges, by token: the authority may ask any member. */
+    void publishChallengeAnswers(Map<String, String> answers);
 
-    /** Passes a certificate on, sealed by whoever passes it; false where this member is no longer the one that may. */
-    boolean pass(byte[] bundle);
+    /** Publishes a certificate with its key, sealed; false where this member no longer is the one that may. */
+    boolean publishBundle(byte[] bundle);
 }
--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -148,13 +148,13 @@
             HttpServer.Request request,
             HttpServer.Answerer answerer,
             long deadlineNs) {
-        boolean mayBeHeardOf = certificateOrder != null && !certificates.proves(request.path());
+        boolean mayBeHeardOf = certificateOrder != null && !certificates.knowsChallenge(request.path());
         if (mayBeHeardOf && io.clock.now() < deadlineNs) {
             io.at(
                     io.clock.now() + CHALLENGE_CHECK_INTERVAL_NS,
                     () -> answerChallenge(certificates, request, answerer, deadlineNs));
         } else {
-            certificates.challenge(request, answerer);
+            certificates.answerChallenge(request, answerer);
         }
     }
 }
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -62,7 +62,8 @@
      */
     LeasedCertificateOrder(Settings settings) throws IOException {
         this.leaseName = LEASE_PREFIX + settings.get(SettingKeys.ACME_NAMES).get(0);
-        this.seal = SecretSealer.read(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
+        this.seal =
+                SecretSealer.readKeyFile(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
         long patienceMs = Math.max(MIN_PATIENCE_MS, PATIENCE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS));
         this.task = new CertificateOrderTask(patienceMs);
     }
@@ -88,11 +89,11 @@
     }
 
     @Override
-    public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
+    public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
         LeaseService joined = leases;
         boolean heldByAnother = joined != null && joined.isHeldByAnother(leaseName);
         LeaseOwner owner = LeaseOwner.of(lease().isPresent(), heldByAnother);
-        boolean orders = task.isOrderedHere(now.toEpochMilli(), lastAt.toEpochMilli(), owner);
+        boolean orders = task.isOrderedHere(now.toEpochMilli(), ownOrderAt.toEpochMilli(), owner);
         if (orders) {
             System.err.println(
                     "fleet: orders the certificate" + (lease().isEmpty() ? " by itself: nobody else has" : ""));
@@ -101,13 +102,13 @@
     }
 
     @Override
-    public void challenges(Map<String, String> answers) {
+    public void publishChallengeAnswers(Map<String, String> answers) {
         publish(new Publication(latest.sealedBundle(), Map.copyOf(answers)));
     }
 
     @Override
-    public boolean pass(byte[] bundle) {
-        return publish(new Publication(seal.close(bundle, leaseName), Map.of()));
+    public boolean publishBundle(byte[] bundle) {
+        return publish(new Publication(seal.seal(bundle, leaseName), Map.of()));
     }
 
     /** Whether the group accepted it from this member as the holder. */
@@ -139,7 +140,7 @@
             latest = publication;
             CertificateManager served = certificates;
             if (served != null) {
-                served.heard(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
+                served.onPublished(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
             }
         } catch (IOException e) {
             System.err.println("fleet: a certificate that was passed on can't be used: " + e.getMessage());
--- a/src/main/java/elderseam/cli/KeysCommand.java
+++ b/src/main/java/elderseam/cli/KeysCommand.java
@@ -70,7 +70,7 @@
         @Override
         public Integer call() throws IOException {
             try {
-                SecretSealer.make(file, new SecureRandom());
+                SecretSealer.createKeyFile(file, new SecureRandom());
                 return ExitCodes.OK;
             } catch (FileAlreadyExistsException e) {
                 throw keyExists(file);
--- a/src/test/java/elderseam/acme/SealedBundleCompatTest.java
+++ b/src/test/java/elderseam/acme/SealedBundleCompatTest.java
@@ -36,17 +36,17 @@
     @Test
     void aSealedBundle() throws IOException {
         SecureRandom random = new FixedRandom();
-        SecretSealer.make(folder.resolve("made"), random);
+        SecretSealer.createKeyFile(folder.resolve("made"), random);
         byte[] key = RecordedBytes.bytes("lease/seal/key", Files.readAllBytes(folder.resolve("made")));
         assertArrayEquals(key, Files.readAllBytes(folder.resolve("made")));
-        SecretSealer seal = SecretSealer.read(
+        SecretSealer sealer = SecretSealer.readKeyFile(
                 RecordedBytes.copy(RecordedBytes.path("lease/seal"), folder.resolve("copy"))
                         .resolve("key"),
                 random);
-        List<String> written = List.of(new String(BUNDLE.encoded(), UTF_8), seal.close(BUNDLE.encoded(), LEASE));
+        List<String> written = List.of(new String(BUNDLE.encoded(), UTF_8), sealer.seal(BUNDLE.encoded(), LEASE));
         List<String> recorded = RecordedBytes.lines("lease/sealed-bundle", written);
         assertEquals(recorded, written);
-        assertEquals(BUNDLE, CertificateBundle.of(recorded.get(0).getBytes(UTF_8)));
-        assertEquals(BUNDLE, CertificateBundle.of(seal.open(recorded.get(1), LEASE)));
+        assertEquals(BUNDLE, CertificateBundle.decode(recorded.get(0).getBytes(UTF_8)));
+        assertEquals(BUNDLE, CertificateBundle.decode(sealer.open(recorded.get(1), LEASE)));
     }
 }
--- a/src/test/java/elderseam/scenario/SecureEventsTest.java
+++ b/src/test/java/elderseam/scenario/SecureEventsTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.acme.AcmeTest;
+import elderseam.acme.AcmeTestSupport;
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
 import elderseam.testkit.acme.StandInAuthority;
@@ -24,7 +24,7 @@
 
     @Test
     void anEventOverTls() throws Exception {
-        int port = AcmeTest.freePort();
+        int port = AcmeTestSupport.freePort();
         StandInAuthority authority = new StandInAuthority(
                 new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
         try (Scenario s = new Scenario(folder)) {
@@ -32,7 +32,7 @@
                     + folder.resolve("certificates") + "\nchallenges = 127.0.0.1:" + port + "\n");
             s.start();
             String at = s.front('e');
-            CompletableFuture<HttpResponse<String>> answer = AcmeTest.trusting(authority)
+            CompletableFuture<HttpResponse<String>> answer = AcmeTestSupport.trustingClient(authority)
                     .sendAsync(
                             HttpRequest.newBuilder(
                                             URI.create("https://localhost" + at.substring(at.indexOf(':')) + "/events"))
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.acme.AcmeTest;
+import elderseam.acme.AcmeTestSupport;
 import elderseam.acme.SecretSealer;
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
@@ -82,7 +82,7 @@
 
     @Test
     void oneOrdersRenewsAndAnotherAfterIt() throws Exception {
-        int port = AcmeTest.freePort();
+        int port = AcmeTestSupport.freePort();
         StandInAuthority authority = new StandInAuthority(
                 new IoLoop(new Clock()),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
@@ -90,7 +90,7 @@
                 Duration.ofSeconds(210),
                 Duration.ofSeconds(120)); // renewed from 10 s on, and by everybody for itself only 55 s later
         Path key = folder.resolve("seal");
-        SecretSealer.make(key, new SecureRandom());
+        SecretSealer.createKeyFile(key, new SecureRandom());
         try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
             String first = one(c, "", by(60));
             assertEquals(1, authority.ordered(), "one order for three members");
@@ -113,11 +113,11 @@
     @Test
     void aSealOpensByItsKeyAndForItsMatterAlone() throws Exception {
         SecureRandom random = new SecureRandom();
-        SecretSealer.make(folder.resolve("a"), random);
-        SecretSealer.make(folder.resolve("b"), random);
-        SecretSealer a = SecretSealer.read(folder.resolve("a"), random),
-                b = SecretSealer.read(folder.resolve("b"), random);
-        String text = a.close(new byte[] {1, 2, 3}, "x");
+        SecretSealer.createKeyFile(folder.resolve("a"), random);
+        SecretSealer.createKeyFile(folder.resolve("b"), random);
+        SecretSealer a = SecretSealer.readKeyFile(folder.resolve("a"), random),
+                b = SecretSealer.readKeyFile(folder.resolve("b"), random);
+        String text = a.seal(new byte[] {1, 2, 3}, "x");
         assertEquals(3, a.open(text, "x").length);
         assertThrows(IOException.class, () -> a.open(text, "y"));
         assertThrows(IOException.class, () -> b.open(text, "x"));
