Start: the command line's types and the settings' conflicts are not loaded by serve

Cause: with the launcher built in Main, its verification loaded a type of the command line; parsers with nested lambdas loaded one class more each. Change: ProgramLauncher calls the command line; SettingKey's parsers use no nested lambdas. Tests not run yet.

--- a/src/main/java/elderseam/Main.java
+++ b/src/main/java/elderseam/Main.java
@@ -33,7 +33,7 @@
         } else if (args.length == 2 && args[0].equals("serve") && !args[1].startsWith("-")) {
             serve(Path.of(args[1]));
         } else {
-            System.exit(Commands.run(args, new ProgramLauncher()));
+            System.exit(ProgramLauncher.runCommand(args));
         }
     }
 
@@ -51,8 +51,12 @@
         }
     }
 
-    /** Not loaded unless {@link Commands} is. */
+    /** Apart from {@link Main}, whose verification would otherwise load {@link Launcher} at every start. */
     private static final class ProgramLauncher implements Launcher {
+        static int runCommand(String[] args) throws InterruptedException {
+            return Commands.run(args, new ProgramLauncher());
+        }
+
         @Override
         public void serve(Path settings) throws IOException {
             Main.serve(settings);
--- a/src/main/java/elderseam/settings/SettingKey.java
+++ b/src/main/java/elderseam/settings/SettingKey.java
@@ -45,12 +45,7 @@
             String section, String name, String unit, long min, long max, long defaultValue, boolean reloadable) {
         String allowed = min + " to " + max + " " + unit;
         return new SettingKey<>(
-                section,
-                name,
-                allowed,
-                Long.toString(defaultValue),
-                reloadable,
-                text -> parseInteger(text).filter(value -> value >= min && value <= max));
+                section, name, allowed, Long.toString(defaultValue), reloadable, text -> parseInteger(text, min, max));
     }
 
     /** A key for an address and a port to listen on, or {@code off}, which is the default. */
@@ -61,7 +56,7 @@
                 "off, or ADDRESS:PORT",
                 "off",
                 false,
-                text -> Optional.of(text).filter(value -> value.equals("off") || isAddress(value)));
+                text -> valueIf(text.equals("off") || isAddress(text), text));
     }
 
     /** A key for words separated by spaces or commas, each matching the regular expression; none by default. */
@@ -69,7 +64,7 @@
             String section, String name, String allowed, String wordRegex, boolean reloadable) {
         return new SettingKey<>(section, name, allowed, "", reloadable, text -> {
             List<String> words = text.isEmpty() ? List.of() : List.of(text.split("[ ,]+"));
-            return Optional.of(words).filter(all -> all.stream().allMatch(word -> word.matches(wordRegex)));
+            return valueIf(words.stream().allMatch(word -> word.matches(wordRegex)), words);
         });
     }
 
@@ -82,11 +77,20 @@
                 allowed,
                 defaultText,
                 reloadable,
-                text -> Optional.of(text).filter(value -> value.isEmpty() || value.matches(regex)));
+                text -> valueIf(text.isEmpty() || text.matches(regex), text));
     }
 
-    private static Optional<Long> parseInteger(String text) {
-        return text.matches("-?\\d{1,18}") ? Optional.of(Long.parseLong(text)) : Optional.empty();
+    /** A parser's result. */
+    static <T> Optional<T> valueIf(boolean isAllowed, T value) {
+        return isAllowed ? Optional.of(value) : Optional.empty();
+    }
+
+    private static Optional<Long> parseInteger(String text, long min, long max) {
+        if (!text.matches("-?\\d{1,18}")) {
+            return Optional.empty();
+        }
+        long value = Long.parseLong(text);
+        return valueIf(value >= min && value <= max, value);
     }
 
     private static boolean isAddress(String text) {
--- a/src/main/java/elderseam/settings/SettingKeys.java
+++ b/src/main/java/elderseam/settings/SettingKeys.java
@@ -2,7 +2,6 @@
 
 import java.time.ZoneId;
 import java.util.List;
-import java.util.Optional;
 
 /**
  * Every key of {@code deploy/elderseam.ini}, whose comments explain them to the operator. A constant is named after its
@@ -82,7 +81,7 @@
             "a time zone such as Africa/Lagos",
             "UTC",
             RELOADABLE,
-            text -> Optional.of(text).filter(ZoneId.getAvailableZoneIds()::contains));
+            text -> SettingKey.valueIf(ZoneId.getAvailableZoneIds().contains(text), text));
     public static final SettingKey<Long> RULES_BODY_BYTES =
             SettingKey.integer("rules", "body_bytes", "bytes", 1, 262_144, 65_536, RELOADABLE);
     public static final SettingKey<Long> RULES_BODY_DEPTH =
