--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -161,7 +161,8 @@
     /** A key, its line, the roster that takes it; no key is written over; a fault of a roster has its line; a file without gossip. */
     @Test
     void keysAndRoster() throws Exception {
-        Path key = folder.resolve("key"), roster = folder.resolve("roster");
+        Path key = folder.resolve("key");
+        Path roster = folder.resolve("roster");
         Result made = run("keys", "new", key.toString(), "--name", "n1", "--from", "10.0.0.0/8,fd00::/8");
         assertTrue(made.exitCode == 0 && made.out.startsWith("n1 10.0.0.0/8,fd00::/8 "), made.toString());
         Files.writeString(roster, made.out);
--- a/src/test/java/elderseam/deploy/ServeScriptTest.java
+++ b/src/test/java/elderseam/deploy/ServeScriptTest.java
@@ -11,56 +11,60 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What deploy/serve.sh makes of the memory limit, shown by a java that only tells its arguments. */
+/** The arguments that deploy/serve.sh gives to java, seen by a java that prints them. */
 class ServeScriptTest {
     @TempDir
     Path folder;
 
-    private String arguments(String config) throws Exception {
+    private String javaArguments(String config) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        // java alone is on the path: where the fleet's days are played no other program may be started
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "deploy/serve.sh").redirectErrorStream(true);
-        b.environment().putAll(Map.of("PATH", folder.toString(), "RELAY_CONFIG", file.toString()));
-        return new String(b.start().getInputStream().readAllBytes(), UTF_8);
+        // nothing else is on the path: the script must not need another program
+        ProcessBuilder script = new ProcessBuilder("/bin/sh", "deploy/serve.sh").redirectErrorStream(true);
+        script.environment().putAll(Map.of("PATH", folder.toString(), "RELAY_CONFIG", file.toString()));
+        return new String(script.start().getInputStream().readAllBytes(), UTF_8);
     }
 
-    private void tells(String config, String heap, String direct) throws Exception {
-        String told = arguments(config);
+    private void assertMemory(String config, String heap, String directMemory) throws Exception {
+        String arguments = javaArguments(config);
         assertTrue(
-                told.contains("-Xmx" + heap)
-                        && told.contains("MaxDirectMemorySize=" + direct)
-                        && told.contains(" serve"),
-                told);
+                arguments.contains("-Xmx" + heap)
+                        && arguments.contains("MaxDirectMemorySize=" + directMemory)
+                        && arguments.contains(" serve"),
+                arguments);
     }
 
     /** A heap of 64 MB under any limit would have the process killed under a small one. */
     @Test
     void heapAndBuffersFollowTheLimit() throws Exception {
-        tells("{\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":256},\"known\":{}}", "64m", "10m");
-        tells("{\"limits\":{\n \"memory_mb\" : 96,\n \"sockets\":256}}", "32m", "8m");
-        tells("{\"limits\":{\"memory_mb\":40}}", "24m", "6m");
-        tells("{}", "64m", "12m");
+        assertMemory("{\"limits\":{\"cores\":1.0,\"memory_mb\":128,\"sockets\":256},\"known\":{}}", "64m", "10m");
+        assertMemory("{\"limits\":{\n \"memory_mb\" : 96,\n \"sockets\":256}}", "32m", "8m");
+        assertMemory("{\"limits\":{\"memory_mb\":40}}", "24m", "6m");
+        assertMemory("{}", "64m", "12m");
     }
 
-    /** A command substitution forks a subshell, which the fleet's days refuse: the script has to end in one process. */
+    /** A command substitution forks a subshell, which the platform refuses: the script must end in one process. */
     @Test
-    void itForksNothing() throws Exception {
+    void theScriptForksNothing() throws Exception {
         String script = Files.readString(Path.of("deploy/serve.sh"));
         assertTrue(
                 !script.matches("(?s).*\\$\\((?!\\().*") && !script.contains("`"),
                 "a command substitution in deploy/serve.sh");
         assertTrue(
-                script.strip().lines().filter(l -> l.startsWith("exec java ")).count() == 1,
+                script.strip()
+                                .lines()
+                                .filter(line -> line.startsWith("exec java "))
+                                .count()
+                        == 1,
                 "no exec java in deploy/serve.sh");
     }
 
-    /** An archive that is not there, or is none, must cost no start and no line where the program's are expected. */
+    /** An archive that is missing or no archive must not fail the start, and must not print a line among the program's. */
     @Test
-    void withoutAnArchiveItStartsAllTheSame() throws Exception {
-        String told = arguments("{}");
-        assertTrue(told.contains("-Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa"), told);
+    void anUnusableArchiveDoesNotPreventTheStart() throws Exception {
+        String arguments = javaArguments("{}");
+        assertTrue(arguments.contains("-Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa"), arguments);
         Path junk = Files.writeString(folder.resolve("junk.jsa"), "no archive".repeat(1_000));
         for (String file : List.of(junk.toString(), folder.resolve("none.jsa").toString())) {
             Process java = new ProcessBuilder(
