--- a/src/test/java/elderseam/scenario/ControlTest.java
+++ b/src/test/java/elderseam/scenario/ControlTest.java
@@ -1,6 +1,7 @@
 package elderseam.scenario;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
@@ -11,27 +12,30 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The second address: calls, figures, endpoints taken out of use, drain and return. */
+/** The control address: commands, metrics, drained endpoints, the drain of the process and its end. */
 class ControlTest {
-    private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
+    private static final String REQUEST_HEADERS = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 20000m;";
+
+    /** More than may be connected at once. */
+    private static final int STALLED_CLIENTS = 60;
 
     @TempDir
     Path folder;
 
-    /** Whatever comes is answered by one line, and callers that stall delay nobody, however many they are. */
+    /** Every line gets a response, while more clients than may be connected have sent half a line or nothing. */
     @Test
-    void anyLineIsAnsweredBesideStalledCallers() throws Exception {
-        try (Scenario s = new Scenario(folder)) {
-            s.start();
+    void everyLineIsAnsweredBesideStalledClients() throws Exception {
+        try (Scenario scenario = new Scenario(folder)) {
+            scenario.start();
             List<Socket> stalled = new ArrayList<>();
-            String[] at = s.front('o').split(":");
-            for (int i = 0; i < 60; i++) { // more than may be open
-                stalled.add(new Socket(at[0], Integer.parseInt(at[1])));
+            String[] address = scenario.front('o').split(":");
+            for (int i = 0; i < STALLED_CLIENTS; i++) {
+                stalled.add(new Socket(address[0], Integer.parseInt(address[1])));
                 stalled.get(i)
                         .getOutputStream()
                         .write(i % 2 == 0 ? "DETA".getBytes(StandardCharsets.US_ASCII) : new byte[0]);
             }
-            s.run("""
+            scenario.run("""
                     operator ask PING -> 200
                     operator ask -> 400 the line is empty
                     operator ask PONG -> 400 unknown call
@@ -42,10 +46,10 @@
                     operator ask ATTACH never-listed -> 400 no endpoint
                     operator ask INFO -> 200; edge_relay.inflight=0; edge_relay.hosts_listed=2; edge_relay.hosts_down=0; EOF
                     """);
-            assertTrue(s.told("x".repeat(1_000) + "\n").startsWith("400 the line is longer than"));
-            assertTrue(s.told("INFO\r\nINFO\r\n").endsWith("EOF\n"));
-            for (Socket one : stalled) {
-                one.close();
+            assertTrue(scenario.told("x".repeat(1_000) + "\n").startsWith("400 the line is longer than"));
+            assertTrue(scenario.told("INFO\r\nINFO\r\n").endsWith("EOF\n"));
+            for (Socket client : stalled) {
+                client.close();
             }
         }
     }
@@ -55,12 +59,12 @@
                 + "\",\"destination\":2}";
     }
 
-    /** Each figure counts its event: delivered, refused, handed back, failed, called, avoided. */
+    /** Each metric counts its event: delivered, rejected, deferred, failed, attempted, drained. */
     @Test
-    void figuresCountWhatHappened() throws Exception {
-        try (Scenario s = new Scenario(folder)) {
-            s.start();
-            s.run("""
+    void metricsCountWhatHappened() throws Exception {
+        try (Scenario scenario = new Scenario(folder)) {
+            scenario.start();
+            scenario.run("""
                     c send POST /status-update; {to} X-Txn: a
                     c expect 202
                     h1 expect a
@@ -87,34 +91,36 @@
                     h2 expect job-order
                     h2 send 200
                     e1 expect 207
-                    """.replace("{to}", TO)
-                    .replace("{to2}", TO.replace("dest=1", "dest=7"))
-                    .replace("{to3}", TO.replace("20000m", "900m"))
+                    """.replace("{to}", REQUEST_HEADERS)
+                    .replace("{to2}", REQUEST_HEADERS.replace("dest=1", "dest=7"))
+                    .replace("{to3}", REQUEST_HEADERS.replace("20000m", "900m"))
                     .replace("{batch}", event("j1") + "," + event("j2")));
             assertEquals(
                     List.of(1L, 2L, 0L, 3L, 0L, 1L),
                     List.of(
-                            s.figure("calls.status-update.success"),
-                            s.figure("calls.status-update.busy"),
-                            s.figure("calls.status-update.failure"),
-                            s.figure("calls.status-update.backend_calls"),
-                            s.figure("calls.rent-payment.success"),
-                            s.figure("calls.rent-payment.failure")));
+                            scenario.figure("calls.status-update.success"),
+                            scenario.figure("calls.status-update.busy"),
+                            scenario.figure("calls.status-update.failure"),
+                            scenario.figure("calls.status-update.backend_calls"),
+                            scenario.figure("calls.rent-payment.success"),
+                            scenario.figure("calls.rent-payment.failure")));
             assertEquals(
                     List.of(2L, 2L),
-                    List.of(s.figure("calls.job-order.success"), s.figure("calls.job-order.backend_calls")));
-            assertEquals(1, s.figure("hosts_down"), "h1 told a long wait");
-            s.told("DETACH h2\n");
-            assertEquals(2, s.figure("hosts_down"), "and h2 by hand");
+                    List.of(
+                            scenario.figure("calls.job-order.success"),
+                            scenario.figure("calls.job-order.backend_calls")));
+            assertEquals(1, scenario.figure("hosts_down"), "h1 asked for a long wait");
+            scenario.told("DETACH h2\n");
+            assertEquals(2, scenario.figure("hosts_down"), "and h2 is detached");
         }
     }
 
-    /** Out of use by hand: nothing new, whatever the list says, over a kill; open calls finish; one call lifts any number. */
+    /** A detached endpoint gets no new request, whatever the list says and after a kill; attempts in flight end; one ATTACH undoes any number. */
     @Test
     void aDetachedEndpointGetsNothingUntilItIsAttached() throws Exception {
-        try (Scenario s = new Scenario(folder)) {
-            s.start();
-            s.run("""
+        try (Scenario scenario = new Scenario(folder)) {
+            scenario.start();
+            scenario.run("""
                     c send POST /status-update; {to} X-Txn: a
                     c expect 202
                     h1 expect a
@@ -135,16 +141,16 @@
                     h1 send 200
                     operator ask ATTACH h1 -> 200
                     operator ask INFO -> hosts_down=0
-                    """.replace("{to}", TO));
+                    """.replace("{to}", REQUEST_HEADERS));
         }
     }
 
-    /** A drain says no first, serves what still comes, closes what is kept, loses nothing and ends by REJOIN alone. */
+    /** A draining process is not ready, still serves requests, closes idle connections, loses nothing, and is ready again after REJOIN only. */
     @Test
-    void aDrainServesWhatComesAndIsTakenBack() throws Exception {
-        try (Scenario s = new Scenario(folder)) {
-            s.start();
-            s.run("""
+    void aDrainServesRequestsAndEndsWithRejoin() throws Exception {
+        try (Scenario scenario = new Scenario(folder)) {
+            scenario.start();
+            scenario.run("""
                     kept send GET /health/ready
                     kept expect 200
                     c send POST /status-update; {to} X-Txn: a
@@ -169,18 +175,18 @@
                     operator ask LAMEDUCK -> 200
                     relay close term
                     relay wait exit 0
-                    """.replace("{to}", TO));
-            assertTrue(s.told().isEmpty());
+                    """.replace("{to}", REQUEST_HEADERS));
+            assertTrue(scenario.told().isEmpty());
         }
     }
 
-    /** Without the setting nothing listens. */
+    /** Without RELAY_CONTROL nothing listens. */
     @Test
-    void withoutTheSettingThereIsNone() throws Exception {
-        try (Scenario s = new Scenario(folder)) {
-            s.withoutControl();
-            s.start();
-            assertEquals(false, s.listens('o'));
+    void withoutTheVariableThereIsNoControlAddress() throws Exception {
+        try (Scenario scenario = new Scenario(folder)) {
+            scenario.withoutControl();
+            scenario.start();
+            assertFalse(scenario.listens('o'));
         }
     }
 }
