--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -141,7 +141,7 @@
         Roster roster = GossipConfiguration.readRoster(fresh, self(), configuration.key());
         return () -> {
             appliesAdvice = appliesAdvice(fresh);
-            transport.setSendLimits(fresh.get(SettingKeys.GOSSIP_BYTES), fresh.get(SettingKeys.GOSSIP_DATAGRAMS));
+            transport.setSendLimits(fresh.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S), fresh.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
             transport.setRoster(roster);
             LOG.info("gossip.counts", field("counts", transport.counts()));
         };
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -319,22 +319,22 @@
     CommandResult answer(OperatorCommand.Fleet command) {
         LeaseGroup startedGroup = group;
         if (startedGroup == null || renewer == null) {
-            return CommandResult.no("the fleet's engine starts yet");
+            return CommandResult.rejected("the fleet's engine starts yet");
         }
         if (!command.members().isEmpty()) {
             return changeMembers(startedGroup, command.members());
         }
         try {
-            return new CommandResult(true, "fleet", status(startedGroup));
+            return CommandResult.accepted("fleet", status(startedGroup));
         } catch (IOException e) {
-            return CommandResult.no("the fleet's engine: " + e.getMessage());
+            return CommandResult.rejected("the fleet's engine: " + e.getMessage());
         }
     }
 
     private static CommandResult changeMembers(LeaseGroup group, Map<String, InetSocketAddress> members) {
         String names = String.join(" ", members.keySet());
         var unused = group.changeMembers(members).whenComplete((done, failure) -> logMemberChange(names, failure));
-        return CommandResult.yes("asked; FLEET tells when it is so");
+        return CommandResult.accepted("asked; FLEET tells when it is so");
     }
 
     /** {@code failure} is null where the group has agreed. */
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -68,7 +68,8 @@
      */
     LeasedCertificateOrder(Settings settings) throws IOException {
         this.leaseName = LEASE_PREFIX + settings.get(SettingKeys.ACME_NAMES).get(0);
-        this.seal = SecretSealer.read(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
+        this.seal =
+                SecretSealer.readKeyFile(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
         long patienceMs = Math.max(MIN_PATIENCE_MS, PATIENCE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS));
         this.task = new CertificateOrderTask(patienceMs);
     }
@@ -94,11 +95,11 @@
     }
 
     @Override
-    public boolean mine(Instant now, Instant dueAt, Instant lastAt) {
+    public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
         LeaseService joined = leases;
         boolean heldByAnother = joined != null && joined.isHeldByAnother(leaseName);
         LeaseOwner owner = LeaseOwner.of(lease().isPresent(), heldByAnother);
-        boolean orders = task.isOrderedHere(now.toEpochMilli(), lastAt.toEpochMilli(), owner);
+        boolean orders = task.isOrderedHere(now.toEpochMilli(), ownOrderAt.toEpochMilli(), owner);
         if (orders) {
             LOG.info("certificate.order_started", field("holds_lease", lease().isPresent()));
         }
@@ -106,13 +107,13 @@
     }
 
     @Override
-    public void challenges(Map<String, String> answers) {
+    public void publishChallengeAnswers(Map<String, String> answers) {
         publish(new Publication(latest.sealedBundle(), Map.copyOf(answers)));
     }
 
     @Override
-    public boolean pass(byte[] bundle) {
-        return publish(new Publication(seal.close(bundle, leaseName), Map.of()));
+    public boolean publishBundle(byte[] bundle) {
+        return publish(new Publication(seal.seal(bundle, leaseName), Map.of()));
     }
 
     /** Whether the group accepted it from this member as the holder. */
@@ -144,7 +145,7 @@
             latest = publication;
             CertificateManager served = certificates;
             if (served != null) {
-                served.heard(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
+                served.onPublished(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
             }
         } catch (IOException e) {
             LOG.warn("certificate.received_unusable", error(e));
--- a/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
@@ -47,7 +47,7 @@
                 settings.get(SettingKeys.EVENTS_WEBHOOK_ORIGINS).stream()
                         .map(origin -> origin.toLowerCase(Locale.ROOT))
                         .toList(),
-                settings.get(SettingKeys.EVENTS_WEBHOOK_RATE).intValue());
+                settings.get(SettingKeys.EVENTS_WEBHOOK_RATE_PER_MINUTE).intValue());
     }
 
     /**
--- a/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
+++ b/src/main/java/elderseam/gossip/transport/GossipConfiguration.java
@@ -26,8 +26,8 @@
                 MemberAddresses.parse(settings.get(SettingKeys.GOSSIP_LISTEN)),
                 settings.get(SettingKeys.GOSSIP_ADVERTISE),
                 settings.get(SettingKeys.GOSSIP_SEEDS),
-                settings.get(SettingKeys.GOSSIP_BYTES),
-                settings.get(SettingKeys.GOSSIP_DATAGRAMS));
+                settings.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S),
+                settings.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
         Roster roster = readRoster(settings, transport.name(), key);
         return new GossipConfiguration(transport, key, new Keyring(key, roster));
     }
