--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -141,7 +141,8 @@
         Roster roster = GossipConfiguration.readRoster(fresh, self(), configuration.key());
         return () -> {
             appliesAdvice = appliesAdvice(fresh);
-            transport.setSendLimits(fresh.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S), fresh.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
+            transport.setSendLimits(
+                    fresh.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S), fresh.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
             transport.setRoster(roster);
             LOG.info("gossip.counts", field("counts", transport.counts()));
         };
--- a/src/main/java/elderseam/cli/GossipWatchCommand.java
+++ b/src/main/java/elderseam/cli/GossipWatchCommand.java
@@ -59,7 +59,7 @@
 
     /** Joins the fleet, and leaves it after {@link #seconds}. Throws what the start of the transport threw. */
     private Observation observe(GossipConfiguration configuration) throws Exception {
-        XnioStartup.start();
+        XnioStartup.configure();
         Clock clock = new Clock();
         IoLoop io = new IoLoop(clock);
         CompletableFuture<Observation> observation = new CompletableFuture<>();
@@ -67,12 +67,13 @@
             try {
                 GossipTransport transport = new GossipTransport(
                         io,
-                        configuration.place(),
-                        configuration.keys(),
-                        GossipTimings.USUAL,
-                        new GossipTransport.Ties(List::of, (destination, word) -> {}, err()::println));
+                        configuration.transport(),
+                        configuration.keyring(),
+                        GossipTimings.DEFAULTS,
+                        new GossipTransport.Callbacks(List::of, (destination, word) -> {}, err()::println));
                 io.at(clock.now() + seconds * NS_PER_S, () -> {
-                    observation.complete(new Observation(transport.members(), transport.claims(), transport.counts()));
+                    observation.complete(
+                            new Observation(transport.members(), transport.allReports(), transport.counts()));
                     transport.leave();
                 });
             } catch (IOException | RuntimeException e) { // thrown again by the command's own thread
@@ -97,7 +98,7 @@
     }
 
     private void printMember(MembershipUpdate member) {
-        String state = wireName(member.standing());
+        String state = wireName(member.state());
         if (json) {
             out().printf(
                             "{\"member\":\"%s\",\"address\":\"%s\",\"standing\":\"%s\",\"incarnation\":%d}%n",
@@ -117,7 +118,7 @@
                             state,
                             report.calls(),
                             report.failures(),
-                            report.waitMs());
+                            report.retryAfterMs());
         } else {
             out().printf(
                             "%-20s destination %-12d %-10s %d of %d calls failed%n",
