--- a/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
+++ b/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
@@ -55,23 +55,23 @@
     }
 
     @Override
-    public long waitNs(long destination) {
+    public long retryAfterNs(long destination) {
         BreakerView breaker = find(destination);
         return breaker == null ? 0 : Math.max(0, breaker.waitNs());
     }
 
     @Override
-    public int inFlight(long destination) {
+    public int attemptsInFlight(long destination) {
         return dispatcher.attemptsInFlight(destination);
     }
 
     @Override
-    public int held() {
+    public int requestsHeld() {
         return dispatcher.requestsInFlight();
     }
 
     @Override
-    public double share(int tenant) {
+    public double tenantQuota(int tenant) {
         if (tenant < 0 || tenant >= policySettings.tenantRates().size()) {
             return 0;
         }
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -98,7 +98,7 @@
             IdempotencyKeyScheme scheme =
                     new IdempotencyKeyScheme(entry.getKey(), new String(entry.getValue(), StandardCharsets.UTF_8));
             if (!current.equals(Optional.of(scheme))) {
-                engine.remember(scheme, RuleLoader.scheme(scheme, names(settings)));
+                engine.rememberScheme(scheme, RuleLoader.readScheme(scheme, names(settings)));
             }
         }
     }
@@ -114,8 +114,8 @@
         } else if (!journalScheme(scheme.get())) {
             return false;
         }
-        engine.put(loaded.map(RuleLoader.Loaded::book).orElse(null));
-        rememberedSchemes = engine.remembered();
+        engine.activate(loaded.map(RuleLoader.Loaded::rulebook));
+        rememberedSchemes = engine.earlierSchemeCount();
         currentScheme = scheme;
         logApplied(loaded);
         return true;
@@ -126,7 +126,7 @@
     }
 
     private static Optional<IdempotencyKeyScheme> schemeOf(Optional<RuleLoader.Loaded> loaded) {
-        return loaded.map(rules -> rules.book().scheme());
+        return loaded.flatMap(rules -> rules.rulebook().keyScheme());
     }
 
     private void logApplied(Optional<RuleLoader.Loaded> loaded) {
@@ -137,13 +137,13 @@
     }
 
     private static String summary(RuleLoader.Loaded loaded) {
-        return loaded.book().rules() + " rules, " + loaded.examples().size() + " examples hold, at most "
-                + loaded.bound() + " units a request";
+        return loaded.rulebook().ruleCount() + " rules, " + loaded.examples().size() + " examples hold, at most "
+                + loaded.maxCost() + " units a request";
     }
 
     private void forgetOldSchemes() {
-        engine.forget(journal.keySchemes().keySet());
-        rememberedSchemes = engine.remembered();
+        engine.retainSchemes(journal.keySchemes().keySet());
+        rememberedSchemes = engine.earlierSchemeCount();
         io.at(io.clock.now() + FORGET_INTERVAL_NS, this::forgetOldSchemes);
     }
 
@@ -151,13 +151,13 @@
     public Runnable reload(Settings fresh) throws IOException {
         Optional<RuleLoader.Loaded> loaded = load(settings, fresh);
         boolean changesKeys = currentScheme.isPresent() && !currentScheme.equals(schemeOf(loaded));
-        if (changesKeys && rememberedSchemes >= RuleEngine.MOST_REMEMBERED) {
+        if (changesKeys && rememberedSchemes >= RuleEngine.MAX_EARLIER_SCHEMES) {
             throw new IOException(
                     "rules: keys of " + rememberedSchemes + " earlier readings are still remembered, allowed: "
-                            + RuleEngine.MOST_REMEMBERED + "; new ones within rules.remember_s of the oldest");
+                            + RuleEngine.MAX_EARLIER_SCHEMES + "; new ones within rules.remember_s of the oldest");
         }
         return () -> {
-            System.err.println("rules: " + engine.counts());
+            System.err.println("rules: " + engine.statistics());
             if (!apply(loaded)) {
                 System.err.println(
                         "rules: not taken, the journal has no room for what their keys stand on; the old ones stay");
@@ -171,24 +171,25 @@
             return new Admitted(message, List.of());
         }
         long nowNs = io.clock.now();
-        RuleEngine.Decided decided = engine.decide(message, facts, nowNs, io.clock.toWall(nowNs));
-        if (!decided.fault().isEmpty()) {
-            return new Invalid(message, decided.fault());
+        RuleEngine.Decision decision = engine.decide(message, facts, nowNs, io.clock.toWall(nowNs));
+        if (decision instanceof RuleEngine.Incomplete incomplete) {
+            return new Invalid(message, incomplete.reason());
         }
-        long retryAfterNs = isKnown(message, decided) ? 0 : engine.admit(nowNs);
+        RuleEngine.Routed routed = (RuleEngine.Routed) decision;
+        long retryAfterNs = isKnown(message, routed) ? 0 : engine.admit(nowNs);
         if (retryAfterNs > 0) {
             return new Rejected(FinalOutcome.rejected(retryAfterNs));
         }
-        return new Admitted(decided.message(), decided.also());
+        return new Admitted(routed.message(), routed.alternateKeys());
     }
 
     /** Whether the request was accepted before, by its id or by a key: no limit applies to it again. */
-    private boolean isKnown(ActiveRequest.Message message, RuleEngine.Decided decided) {
+    private boolean isKnown(ActiveRequest.Message message, RuleEngine.Routed routed) {
         if (dispatcher.isKnown(message.id())) {
             return true;
         }
-        String key = decided.message().deduplicationKey();
-        boolean hasKey = !key.isEmpty() || !decided.also().isEmpty();
-        return hasKey && dispatcher.isKnown(key, decided.also());
+        String key = routed.message().deduplicationKey();
+        boolean hasKey = !key.isEmpty() || !routed.alternateKeys().isEmpty();
+        return hasKey && dispatcher.isKnown(key, routed.alternateKeys());
     }
 }
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -1,11 +1,13 @@
 package elderseam.cli;
 
 import elderseam.core.JsonValue;
+import elderseam.rules.ExpressionExplainer;
 import elderseam.rules.KnownNames;
 import elderseam.rules.RuleExample;
 import elderseam.rules.RuleLimits;
 import elderseam.rules.RuleLoader;
 import elderseam.rules.SampleRequest;
+import elderseam.rules.SampleResult;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import elderseam.settings.SettingsFault;
@@ -16,7 +18,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -69,7 +70,7 @@
 
         KnownNames names() throws IOException {
             if (config == null) {
-                return KnownNames.untold();
+                return KnownNames.unchecked();
             }
             JsonValue settings = JsonValue.read(Files.readAllBytes(config)).get("settings");
             return KnownNames.of(names(settings.get("services")), names(settings.get("orgs")));
@@ -108,9 +109,10 @@
             l.warnings().forEach(w -> spec.commandLine().getErr().println("warning: " + w));
             spec.commandLine()
                     .getOut()
-                    .println(given.place() + ": no fault, " + l.book().rules() + " rules, at most " + l.bound()
-                            + " units a request"
-                            + (names.told() ? "" : " (classes and tenants not checked: no --config)"));
+                    .println(
+                            given.place() + ": no fault, " + l.rulebook().ruleCount() + " rules, at most " + l.maxCost()
+                                    + " units a request"
+                                    + (names.checked() ? "" : " (classes and tenants not checked: no --config)"));
             return 0;
         }
     }
@@ -135,7 +137,7 @@
         public Integer call() throws IOException {
             spec.commandLine()
                     .getOut()
-                    .println(RuleLoader.explain(expression, RuleLimits.of(given.settings()))
+                    .println(ExpressionExplainer.explain(expression, RuleLimits.of(given.settings()))
                             .stripTrailing());
             return 0;
         }
@@ -172,30 +174,33 @@
         public Integer call() throws IOException {
             KnownNames names = given.names();
             RuleLoader.Loaded l = given.read(names);
-            List<String> faults = new ArrayList<>(), trace = new ArrayList<>();
+            List<String> faults = new ArrayList<>();
             SampleRequest sample =
-                    SampleRequest.read(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
-            sample.state(state, faults);
+                    SampleRequest.parse(new String(System.in.readNBytes(MOST_REQUEST), StandardCharsets.UTF_8), faults);
+            sample.setState(state, faults);
             if (at != null) {
-                sample.at(at, faults);
+                sample.setTime(at, faults);
             }
             if (!faults.isEmpty()) {
                 throw new SettingsFault(
                         faults.stream().map(f -> "request: " + f).toList());
             }
-            Map<String, String> got = RuleExample.eval(l, names, sample, trace);
+            SampleResult result = SampleResult.of(l.rulebook(), names, sample);
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
                 StringBuilder all = new StringBuilder("{");
-                got.forEach((k, v) -> all.append(JsonValue.quote(k))
-                        .append(':')
-                        .append(JsonValue.quote(v))
-                        .append(','));
+                result.values()
+                        .forEach((field, v) -> all.append(JsonValue.quote(field.label()))
+                                .append(':')
+                                .append(JsonValue.quote(v))
+                                .append(','));
                 out.println(all + "\"why\":["
-                        + String.join(",", trace.stream().map(JsonValue::quote).toList()) + "]}");
+                        + String.join(
+                                ",",
+                                result.trace().stream().map(JsonValue::quote).toList()) + "]}");
             } else {
-                got.forEach((k, v) -> out.printf("%-12s %s%n", k, v));
-                trace.forEach(t -> out.println("  " + t));
+                result.values().forEach((field, v) -> out.printf("%-12s %s%n", field.label(), v));
+                result.trace().forEach(t -> out.println("  " + t));
             }
             return 0;
         }
@@ -219,7 +224,7 @@
             RuleLoader.Loaded l = given.read(names);
             int failed = 0;
             for (RuleExample e : l.examples()) {
-                List<String> wrong = e.run(l.book(), names);
+                List<String> wrong = e.run(l.rulebook(), names);
                 failed += wrong.isEmpty() ? 0 : 1;
                 spec.commandLine().getOut().println((wrong.isEmpty() ? "holds  " : "FAILS  ") + e.name());
                 wrong.forEach(w -> spec.commandLine().getOut().println("  " + w));
--- a/src/main/java/elderseam/rules/JsonFieldExtractor.java
+++ b/src/main/java/elderseam/rules/JsonFieldExtractor.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import elderseam.rules.cel.EvaluationError;
 import elderseam.rules.cel.NullValue;
 import java.io.IOException;
@@ -16,170 +17,201 @@
 import java.util.Map;
 
 /**
- * Picks the fields that rules name out of a JSON body as it streams by; nothing else of it is kept. All of it is read, so that what is
- * no JSON, is nested too deep, or tells a name twice in one object (RFC 8259, section 4: what that means is anybody's guess) is an
- * error for each of its fields. Whole numbers of 64 bits are ints, all others doubles.
+ * Extracts the fields that rules read from a JSON body in one streaming pass; nothing else of the body is kept. The pass
+ * always covers the whole body: if that is no JSON object, is nested too deep, or has a name twice in one object (of
+ * which RFC 8259, section 4, leaves the meaning open), each field is an error. Whole numbers of 64 bits are longs, all
+ * others doubles. Not thread-safe.
  */
 final class JsonFieldExtractor {
-    private static final EvaluationError NOT_JSON = new EvaluationError("a body that is no JSON object"),
-            TOO_LARGE = new EvaluationError("a body above body_bytes"),
-            TOO_LONG = new EvaluationError("a field above field_chars or list_items"),
-            TOO_DEEP = new EvaluationError("a body nested above body_depth"),
-            TWICE = new EvaluationError("a body that tells a name twice in one object");
-
-    /** The names below one, and which field ends there. */
-    private static final class Node {
-        final Map<String, Node> below = new HashMap<>();
-        int field = -1;
+    private static final EvaluationError NOT_JSON = new EvaluationError("a body that is no JSON object");
+    private static final EvaluationError BODY_TOO_LARGE = new EvaluationError("a body above body_bytes");
+    private static final EvaluationError FIELD_TOO_LARGE =
+            new EvaluationError("a field above field_chars or list_items");
+    private static final EvaluationError TOO_DEEP = new EvaluationError("a body nested above body_depth");
+    private static final EvaluationError DUPLICATE_NAME =
+            new EvaluationError("a body that tells a name twice in one object");
+    private static final int MAX_NUMBER_CHARS = 64;
+
+    /** A node of the tree of field paths. */
+    private static final class PathNode {
+        private static final int NO_FIELD = -1;
+
+        final Map<String, PathNode> children = new HashMap<>();
+        int field = NO_FIELD; // number of the field whose path ends here
+
+        boolean isField() {
+            return field != NO_FIELD;
+        }
     }
 
-    private final RuleLimits extent;
+    private final RuleLimits limits;
     private final JsonFactory json;
-    private final Node root = new Node();
-    private final Object[] values;
-    private int items; // of the field that is read, in all its lists and maps
-
-    /** {@code fields}: the paths, whose place in the list is the number of the field. */
-    JsonFieldExtractor(RuleLimits extent, List<List<String>> fields) {
-        this.extent = extent;
-        this.values = new Object[fields.size()];
+    private final PathNode root = new PathNode();
+    private final Object[] values; // by number of the field
+    private int itemCount; // in all lists and maps of the field that is being read
+
+    /** {@code paths}: of the fields; a field's number is its path's index. */
+    JsonFieldExtractor(RuleLimits limits, List<List<String>> paths) {
+        this.limits = limits;
+        this.values = new Object[paths.size()];
         this.json = JsonFactory.builder()
                 .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                 .streamReadConstraints(StreamReadConstraints.builder()
-                        .maxNestingDepth(extent.bodyDepth())
-                        .maxNumberLength(64)
-                        .maxStringLength(extent.bodyBytes())
-                        .maxNameLength(extent.bodyBytes())
+                        .maxNestingDepth(limits.maxBodyDepth())
+                        .maxNumberLength(MAX_NUMBER_CHARS)
+                        .maxStringLength(limits.maxBodyBytes())
+                        .maxNameLength(limits.maxBodyBytes())
                         .build())
                 .build();
-        for (int i = 0; i < fields.size(); i++) {
-            Node n = root;
-            for (String name : fields.get(i)) {
-                n = n.below.computeIfAbsent(name, x -> new Node());
+        for (int i = 0; i < paths.size(); i++) {
+            PathNode node = root;
+            for (String name : paths.get(i)) {
+                node = node.children.computeIfAbsent(name, absent -> new PathNode());
             }
-            n.field = i;
+            node.field = i;
         }
     }
 
-    /** The values by number; null for those that are not there. Good until the next call. */
-    Object[] read(byte[] body) {
+    /**
+     * Returns the values by number of the field: null where the body has no such field, an {@link EvaluationError} where
+     * it can't be read. The array is valid until the next call.
+     */
+    Object[] extract(byte[] body) {
         Arrays.fill(values, null);
-        EvaluationError fault = body.length > extent.bodyBytes() ? TOO_LARGE : null;
-        try (JsonParser p = fault == null ? json.createParser(body) : null) {
-            if (p != null) {
-                fault = p.nextToken() == JsonToken.START_OBJECT ? null : NOT_JSON;
-                if (fault == null) {
-                    object(p, root);
-                    fault = p.nextToken() == null ? null : NOT_JSON;
-                }
+        EvaluationError error = parse(body);
+        if (error != null) {
+            Arrays.fill(values, error);
+        }
+        return values;
+    }
+
+    /** Reads the fields; returns what is wrong with the body as a whole, or null. */
+    private EvaluationError parse(byte[] body) {
+        if (body.length > limits.maxBodyBytes()) {
+            return BODY_TOO_LARGE;
+        }
+        try (JsonParser parser = json.createParser(body)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                return NOT_JSON;
             }
+            readObject(parser, root);
+            return parser.nextToken() == null ? null : NOT_JSON;
         } catch (IOException e) {
-            fault = e instanceof com.fasterxml.jackson.core.exc.StreamConstraintsException
-                            && e.getMessage().contains("nesting")
-                    ? TOO_DEEP
-                    : e.getMessage() != null && e.getMessage().startsWith("Duplicate field") ? TWICE : NOT_JSON;
+            return toError(e);
         }
-        if (fault != null) {
-            Arrays.fill(values, fault);
+    }
+
+    /** Jackson tells these two only by their messages. */
+    private static EvaluationError toError(IOException e) {
+        String message = e.getMessage();
+        if (e instanceof StreamConstraintsException && message.contains("nesting")) {
+            return TOO_DEEP;
         }
-        return values;
+        return message != null && message.startsWith("Duplicate field") ? DUPLICATE_NAME : NOT_JSON;
     }
 
-    private void object(JsonParser p, Node node) throws IOException {
-        while (p.nextToken() != JsonToken.END_OBJECT) {
-            Node below = node.below.get(p.currentName());
-            p.nextToken();
-            if (below == null) {
-                p.skipChildren(); // deep ones are counted as they pass by, never by recursion
-            } else if (below.field < 0) {
-                inside(p, below);
+    /** Reads the fields below a node from an object whose start was read. */
+    private void readObject(JsonParser parser, PathNode node) throws IOException {
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            PathNode child = node.children.get(parser.currentName());
+            parser.nextToken();
+            if (child == null) {
+                parser.skipChildren(); // counts the nesting without recursion
+            } else if (child.isField()) {
+                readField(parser, child);
+            } else if (parser.currentToken() == JsonToken.START_OBJECT) {
+                readObject(parser, child);
             } else {
-                items = 0;
-                Object v = value(p);
-                values[below.field] = v == null ? TOO_LONG : v;
-                fields(below, v);
+                parser.skipChildren();
             }
         }
     }
 
-    private void inside(JsonParser p, Node node) throws IOException {
-        if (p.currentToken() == JsonToken.START_OBJECT) {
-            object(p, node);
-        } else {
-            p.skipChildren();
-        }
+    private void readField(JsonParser parser, PathNode node) throws IOException {
+        itemCount = 0;
+        Object value = readValue(parser);
+        values[node.field] = value == null ? FIELD_TOO_LARGE : value;
+        setInnerFields(node, value);
     }
 
-    /** Fields of a field that is named whole too. */
-    private void fields(Node node, Object v) {
-        node.below.forEach((name, below) -> {
-            Object inner = v instanceof Map<?, ?> m ? m.get(name) : v == null ? TOO_LONG : null;
-            if (inner != null && below.field >= 0) {
-                values[below.field] = inner;
+    /** Sets the fields that lie inside a field; {@code value}: of the outer one, null where it is too large. */
+    private void setInnerFields(PathNode node, Object value) {
+        node.children.forEach((name, child) -> {
+            Object inner;
+            if (value instanceof Map<?, ?> map) {
+                inner = map.get(name);
+            } else {
+                inner = value == null ? FIELD_TOO_LARGE : null;
+            }
+            if (inner != null && child.isField()) {
+                values[child.field] = inner;
             }
-            fields(below, inner);
+            setInnerFields(child, inner);
         });
     }
 
-    /** A value, or null where it is longer than rules may have it; the parser stands at its end. Nesting is bounded by the parser. */
-    private Object value(JsonParser p) throws IOException {
-        switch (p.currentToken()) {
-            case VALUE_STRING -> {
-                return p.getTextLength() > extent.fieldChars() ? null : p.getText();
-            }
-            case VALUE_NUMBER_INT -> {
-                return p.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? (Object) p.getDoubleValue()
-                        : (Object) p.getLongValue();
-            }
-            case VALUE_NUMBER_FLOAT -> {
-                return p.getDoubleValue();
-            }
-            case VALUE_TRUE, VALUE_FALSE -> {
-                return p.currentToken() == JsonToken.VALUE_TRUE;
-            }
-            case START_OBJECT -> {
-                return map(p);
-            }
-            case START_ARRAY -> {
-                return list(p);
-            }
-            default -> {
-                return NullValue.NULL;
-            }
+    /** Reads one value to its end; null where it is too large. The parser bounds the recursion. */
+    private Object readValue(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case VALUE_STRING -> parser.getTextLength() > limits.maxFieldChars() ? null : parser.getText();
+            case VALUE_NUMBER_INT -> readWholeNumber(parser);
+            case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            case START_OBJECT -> readMap(parser);
+            case START_ARRAY -> readList(parser);
+            default -> NullValue.NULL;
+        };
+    }
+
+    private static Object readWholeNumber(JsonParser parser) throws IOException {
+        if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+            return parser.getDoubleValue();
         }
+        return parser.getLongValue();
     }
 
-    private Object map(JsonParser p) throws IOException {
-        Map<String, Object> all = new LinkedHashMap<>();
+    /** Reads a map to its end; null where it is too large. */
+    private Object readMap(JsonParser parser) throws IOException {
+        Map<String, Object> map = new LinkedHashMap<>();
         boolean fits = true;
-        while (p.nextToken() != JsonToken.END_OBJECT) {
-            String name = p.currentName();
-            p.nextToken();
-            Object v = fits ? value(p) : skipped(p);
-            fits &= v != null && ++items <= extent.listItems() && name.length() <= extent.fieldChars();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            Object value = readOrSkip(parser, fits);
+            fits &= value != null && countItem() && name.length() <= limits.maxFieldChars();
             if (fits) {
-                all.put(name, v);
+                map.put(name, value);
             }
         }
-        return fits ? all : null;
+        return fits ? map : null;
     }
 
-    private Object list(JsonParser p) throws IOException {
-        List<Object> all = new ArrayList<>();
+    /** Reads a list to its end; null where it is too large. */
+    private Object readList(JsonParser parser) throws IOException {
+        List<Object> list = new ArrayList<>();
         boolean fits = true;
-        while (p.nextToken() != JsonToken.END_ARRAY) {
-            Object v = fits ? value(p) : skipped(p);
-            fits &= v != null && ++items <= extent.listItems();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            Object value = readOrSkip(parser, fits);
+            fits &= value != null && countItem();
             if (fits) {
-                all.add(v);
+                list.add(value);
             }
         }
-        return fits ? all : null;
+        return fits ? list : null;
     }
 
-    private static Object skipped(JsonParser p) throws IOException {
-        p.skipChildren();
+    private Object readOrSkip(JsonParser parser, boolean read) throws IOException {
+        if (read) {
+            return readValue(parser);
+        }
+        parser.skipChildren();
         return null;
     }
+
+    /** Counts an item of the field; false where that is too many. */
+    private boolean countItem() {
+        itemCount++;
+        return itemCount <= limits.maxListItems();
+    }
 }
--- a/src/main/java/elderseam/rules/KeyedRateLimiter.java
+++ b/src/main/java/elderseam/rules/KeyedRateLimiter.java
@@ -5,80 +5,95 @@
 import java.util.Map;
 
 /**
- * A limit for each of many keys, by the generic cell rate algorithm (ITU-T I.371, "virtual scheduling"): of each key only the time at
- * which it would be empty again is kept. Bounded in number: a key is let go only when its bucket is full again, so that a flooder
- * gains nothing by handing in keys until its own is let go; while none can be let go, all further keys share one bucket.
+ * A rate limit for each of many keys, by the generic cell rate algorithm (ITU-T I.371, "virtual scheduling"): a key's
+ * token bucket is one number, its theoretical arrival time, at which the bucket is full again. The number of buckets is
+ * bounded. A bucket is dropped only once it is full, so that a client gains nothing by inventing keys until its own
+ * bucket is evicted; while none can be dropped, all further keys share one bucket. Times are nanoseconds of the
+ * dispatcher's clock; confined to the thread that evaluates rules.
  */
 final class KeyedRateLimiter {
-    private static final int LOOK = 8; // eldest that are looked at for one to let go
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** How many of the least recently used buckets are examined when one has to be dropped. */
+    private static final int EVICTION_CANDIDATES = 8;
 
     final String name;
-    private final long interval, tolerance;
-    private final int most;
-    private final Map<String, long[]> empty = new LinkedHashMap<>(16, 0.75f, true); // the longest unused first
-    private final long[] shared = new long[1];
-    private long crowded;
+    private final long intervalNs;
+    private final long burstToleranceNs;
+    private final int maxKeys;
+
+    /** Theoretical arrival time by key, in an array of one so that it changes in place; least recently used first. */
+    private final Map<String, long[]> arrivalTimes = new LinkedHashMap<>(16, 0.75f, true);
+
+    private final long[] sharedArrivalTime = {Long.MIN_VALUE / 2};
+    private long sharedBucketUses;
 
-    /** {@code rate} a second, of which {@code burst} may come at once; {@code most} keys of their own. */
-    KeyedRateLimiter(String name, double rate, int burst, int most) {
+    /**
+     * @param ratePerSecond for each key
+     * @param burst how many requests of a key may come at once
+     * @param maxKeys how many keys have a bucket of their own
+     */
+    KeyedRateLimiter(String name, double ratePerSecond, int burst, int maxKeys) {
         this.name = name;
-        this.interval = Math.max(1, Math.round(1e9 / rate));
-        this.tolerance = interval * (burst - 1);
-        this.most = most;
-        this.shared[0] = Long.MIN_VALUE / 2;
+        this.intervalNs = Math.max(1, Math.round(NANOS_PER_SECOND / ratePerSecond));
+        this.burstToleranceNs = intervalNs * (burst - 1);
+        this.maxKeys = maxKeys;
     }
 
-    /** How long one more with that key had better wait; 0 where it conforms. Nothing is taken. */
-    long waitNs(String key, long now) {
-        long[] at = empty.get(key);
-        if (at == null) {
-            if (room(now)) {
+    /** Returns how long the next request with this key has to wait; 0 if it conforms. Takes no token. */
+    long waitNs(String key, long nowNs) {
+        long[] arrivalTime = arrivalTimes.get(key);
+        if (arrivalTime == null) {
+            if (hasRoom(nowNs)) {
                 return 0;
             }
-            at = shared;
+            arrivalTime = sharedArrivalTime;
         }
-        return Math.max(0, at[0] - tolerance - now);
+        return Math.max(0, arrivalTime[0] - burstToleranceNs - nowNs);
     }
 
-    /** One that conforms is taken. */
-    void take(String key, long now) {
-        long[] at = empty.get(key);
-        if (at == null && room(now)) {
-            at = new long[] {now};
-            empty.put(key, at);
-        } else if (at == null) {
-            at = shared;
-            crowded++;
+    /** Takes a token for a request that conforms. */
+    void take(String key, long nowNs) {
+        long[] arrivalTime = arrivalTimes.get(key);
+        if (arrivalTime == null && hasRoom(nowNs)) {
+            arrivalTime = new long[] {nowNs};
+            arrivalTimes.put(key, arrivalTime);
+        } else if (arrivalTime == null) {
+            arrivalTime = sharedArrivalTime;
+            sharedBucketUses++;
         }
-        at[0] = Math.max(now, at[0]) + interval;
+        arrivalTime[0] = Math.max(nowNs, arrivalTime[0]) + intervalNs;
     }
 
-    private boolean room(long now) {
-        Iterator<Map.Entry<String, long[]>> eldest = empty.entrySet().iterator();
-        for (int i = 0; empty.size() >= most && i < LOOK && eldest.hasNext(); i++) {
-            if (eldest.next().getValue()[0] <= now) {
-                eldest.remove();
+    /** Whether another key may have a bucket; drops full ones if that is needed. */
+    private boolean hasRoom(long nowNs) {
+        Iterator<Map.Entry<String, long[]>> leastRecentlyUsed =
+                arrivalTimes.entrySet().iterator();
+        for (int i = 0; arrivalTimes.size() >= maxKeys && i < EVICTION_CANDIDATES && leastRecentlyUsed.hasNext(); i++) {
+            if (leastRecentlyUsed.next().getValue()[0] <= nowNs) {
+                leastRecentlyUsed.remove();
             }
         }
-        return empty.size() < most;
+        return arrivalTimes.size() < maxKeys;
     }
 
-    int size() {
-        return empty.size();
+    /** The number of keys with a bucket of their own. */
+    int keyCount() {
+        return arrivalTimes.size();
     }
 
-    /** Messages that went to the shared bucket. */
-    long crowded() {
-        return crowded;
+    /** How many requests took their token from the shared bucket. */
+    long sharedBucketUses() {
+        return sharedBucketUses;
     }
 
-    /** Takes over what an earlier one of the same limit knows: a reload forgives nobody. */
-    void inherit(KeyedRateLimiter old) {
-        for (Map.Entry<String, long[]> e : old.empty.entrySet()) {
-            if (empty.size() < most) {
-                empty.put(e.getKey(), e.getValue().clone());
+    /** Takes over the buckets of an earlier limiter of the same name, so that a reload fills none of them. */
+    void inherit(KeyedRateLimiter earlier) {
+        for (Map.Entry<String, long[]> bucket : earlier.arrivalTimes.entrySet()) {
+            if (arrivalTimes.size() < maxKeys) {
+                arrivalTimes.put(bucket.getKey(), bucket.getValue().clone());
             }
         }
-        shared[0] = old.shared[0];
+        sharedArrivalTime[0] = earlier.sharedArrivalTime[0];
     }
 }
--- a/src/main/java/elderseam/rules/Route.java
+++ b/src/main/java/elderseam/rules/Route.java
@@ -8,121 +8,140 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongFunction;
+import java.util.regex.Pattern;
 
 /**
- * A route: one of several destinations for a key, the same each time while the route is the same. Weighted rendezvous hashing (Thaler
- * and Ravishankar 1998; the weights after Schindelhauer and Schomaker 2005): the destination with the highest
- * {@code -weight / ln(hash)} takes the key, so that one that comes or goes moves only its own share. A canary takes keys whose own
- * hash lies below its share, which grows step by step with the clock alone, the same in each instance and without their talking;
- * what it has taken stays with it while it grows. The destination is chosen once, before the message is taken on: which endpoint of
- * it, and whether again, is the module's to decide.
+ * Assigns keys to destinations: the same key always gets the same destination while the route is the same. Weighted
+ * rendezvous hashing (Thaler and Ravishankar 1998; the weights after Schindelhauer and Schomaker 2005): the destination
+ * with the highest score {@code -weight / ln(hash)} gets the key, so that adding or removing one moves only its own
+ * share of the keys. A canary gets the keys whose own hash is below its share. The share grows in steps with the wall
+ * clock alone, so that all dispatchers agree without communicating, and a key that the canary has got stays there while
+ * it grows. The destination is chosen once, before the message is accepted; endpoints and retries are the policy's.
+ *
+ * <p>Immutable.
+ *
+ * @param subsets members by name of a subset
+ * @param fallbacks destinations that are used, in this order, while the breakers of all members are open
+ * @param canary null for none
+ * @param header lower-case name of the request header that overrides the choice; empty for none
  */
-final class Route {
-    /** {@code shares}: of all keys, in hundredths; from {@code fromMs} on a further step each {@code everyMs}. */
-    record Canary(long destination, double[] shares, long fromMs, long everyMs) {
-        double share(long wallMs) {
-            long step = wallMs < fromMs ? -1 : (wallMs - fromMs) / everyMs;
-            return step < 0 ? 0 : shares[(int) Math.min(step, shares.length - 1)] / 100;
-        }
-    }
-
-    record Member(long destination, double weight) {}
+record Route(
+        String name,
+        List<Member> members,
+        Map<String, List<Long>> subsets,
+        List<Long> fallbacks,
+        Canary canary,
+        String header) {
+    /** Returned where a header asks for something that is not in the route. */
+    static final long NO_DESTINATION = -1;
 
     private static final Hasher64 HASH = Hashing.komihash5_0();
-    private static final long CANARY = 0x63616e617279L;
+    private static final long CANARY_SEED = 0x63616e617279L; // "canary" in ASCII
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,18}");
 
-    final String name, header;
-    private final List<Member> members;
-    private final Map<String, List<Long>> subsets;
-    private final List<Long> fallbacks;
-    private final Canary canary; // or null
+    /** A destination that takes keys in proportion to its weight. */
+    record Member(long destination, double weight) {}
 
-    Route(
-            String name,
-            List<Member> members,
-            Map<String, List<Long>> subsets,
-            List<Long> fallbacks,
-            Canary canary,
-            String header) {
-        this.name = name;
-        this.members = members;
-        this.subsets = subsets;
-        this.fallbacks = fallbacks;
-        this.canary = canary;
-        this.header = header;
+    /**
+     * A destination that takes a growing share of all keys.
+     *
+     * @param stepsPercent the shares, one after another; the last stays
+     * @param startMs when the first step begins, in milliseconds since the epoch; the share is 0 before
+     * @param stepMs how long each step lasts
+     */
+    record Canary(long destination, List<Double> stepsPercent, long startMs, long stepMs) {
+        /** The share of all keys at this time, from 0 to 1. */
+        double share(long wallMs) {
+            if (wallMs < startMs) {
+                return 0;
+            }
+            long step = (wallMs - startMs) / stepMs;
+            return stepsPercent.get((int) Math.min(step, stepsPercent.size() - 1)) / 100;
+        }
     }
 
-    boolean has(String subset) {
+    /** Whether this names a subset of the route, or is empty for all members. */
+    boolean hasSubset(String subset) {
         return subset.isEmpty() || subsets.containsKey(subset);
     }
 
-    /** Every destination that it may name. */
-    List<Long> all() {
-        List<Long> all =
-                new ArrayList<>(members.stream().map(Member::destination).toList());
-        all.addAll(fallbacks);
-        if (canary != null) {
-            all.add(canary.destination);
-        }
-        return all;
-    }
-
     /**
-     * The destination for a key. One whose breaker is open is passed over for the next in the key's own order, then for the
-     * fallbacks; where all are open the first stands, and the module says what becomes of the message.
+     * Returns the destination for a key. A destination whose breaker is open is skipped for the next in the key's own
+     * order, then for the fallbacks; where all are open the first is returned, and the policy decides what becomes of
+     * the message.
      *
-     * @param subset of its members; empty for all
-     * @param told by the header: a destination of this route, or one of its subsets; empty for none
-     * @return -1 where what was told is none of them
+     * @param subset the members to choose from; empty for all
+     * @param override value of the route's header: a destination of this route, or a subset; empty for none
+     * @param wallMs milliseconds since the epoch
+     * @param breakers the breaker by destination
+     * @return {@link #NO_DESTINATION} if the override is neither
      */
-    long destination(String key, String subset, String told, long wallMs, LongFunction<Breaker> breaker) {
-        String among = subset;
-        if (!told.isEmpty()) {
-            if (told.matches("\\d{1,18}") && all().contains(Long.parseLong(told))) {
-                return Long.parseLong(told);
+    long destination(String key, String subset, String override, long wallMs, LongFunction<Breaker> breakers) {
+        String candidates = subset;
+        if (!override.isEmpty()) {
+            if (NUMBER.matcher(override).matches() && allDestinations().contains(Long.parseLong(override))) {
+                return Long.parseLong(override);
             }
-            if (!subsets.containsKey(told)) {
-                return -1;
+            if (!subsets.containsKey(override)) {
+                return NO_DESTINATION;
             }
-            among = told;
+            candidates = override;
         }
         long hash = HASH.hashCharsToLong(key);
-        if (canary != null
-                && among.isEmpty()
-                && unit(HASH.hashLongLongToLong(hash, CANARY)) < canary.share(wallMs)
-                && breaker.apply(canary.destination) != Breaker.OPEN) {
+        if (candidates.isEmpty() && takenByCanary(hash, wallMs) && isUsable(canary.destination, breakers)) {
             return canary.destination;
         }
-        List<Long> order = order(hash, among);
-        for (long d : order) {
-            if (breaker.apply(d) != Breaker.OPEN) {
-                return d;
+        List<Long> ranking = ranking(hash, candidates);
+        for (long destination : ranking) {
+            if (isUsable(destination, breakers)) {
+                return destination;
             }
         }
-        for (long d : fallbacks) {
-            if (breaker.apply(d) != Breaker.OPEN) {
-                return d;
+        for (long destination : fallbacks) {
+            if (isUsable(destination, breakers)) {
+                return destination;
             }
         }
-        return order.get(0);
+        return ranking.get(0);
+    }
+
+    private List<Long> allDestinations() {
+        List<Long> all = new ArrayList<>();
+        for (Member member : members) {
+            all.add(member.destination);
+        }
+        all.addAll(fallbacks);
+        if (canary != null) {
+            all.add(canary.destination);
+        }
+        return all;
+    }
+
+    private boolean takenByCanary(long keyHash, long wallMs) {
+        return canary != null && toUnitInterval(HASH.hashLongLongToLong(keyHash, CANARY_SEED)) < canary.share(wallMs);
+    }
+
+    private static boolean isUsable(long destination, LongFunction<Breaker> breakers) {
+        return breakers.apply(destination) != Breaker.OPEN;
     }
 
-    private List<Long> order(long hash, String subset) {
-        record Ranked(long destination, double score) {}
-        List<Long> of = subset.isEmpty() ? null : subsets.get(subset);
-        List<Ranked> all = new ArrayList<>();
-        for (Member m : members) {
-            if (of == null || of.contains(m.destination)) {
-                all.add(new Ranked(
-                        m.destination, -m.weight / Math.log(unit(HASH.hashLongLongToLong(hash, m.destination)))));
+    /** The members of a subset, or all of them, by falling score for this key. */
+    private List<Long> ranking(long keyHash, String subset) {
+        record Scored(long destination, double score) {}
+        List<Long> candidates = subset.isEmpty() ? null : subsets.get(subset);
+        List<Scored> scored = new ArrayList<>();
+        for (Member member : members) {
+            if (candidates == null || candidates.contains(member.destination)) {
+                double hash = toUnitInterval(HASH.hashLongLongToLong(keyHash, member.destination));
+                scored.add(new Scored(member.destination, -member.weight / Math.log(hash)));
             }
         }
-        all.sort(Comparator.comparingDouble((Ranked r) -> -r.score).thenComparingLong(Ranked::destination));
-        return all.stream().map(Ranked::destination).toList();
+        scored.sort(Comparator.comparingDouble((Scored entry) -> -entry.score).thenComparingLong(Scored::destination));
+        return scored.stream().map(Scored::destination).toList();
     }
 
-    /** Above 0 and below 1. */
-    private static double unit(long hash) {
+    /** Maps a hash to a number above 0 and below 1. */
+    private static double toUnitInterval(long hash) {
         return ((hash >>> 11) + 0.5) * 0x1p-53;
     }
 }
--- /dev/null
+++ b/src/main/java/elderseam/rules/RouteReader.java
@@ -0,0 +1,163 @@
+package elderseam.rules;
+
+import elderseam.rules.cel.Program;
+import elderseam.rules.cel.Type;
+import elderseam.settings.SectionFile.Section;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.OffsetDateTime;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** Reads {@code [route NAME]} sections. */
+final class RouteReader {
+    private static final Pattern MEMBER = Pattern.compile("\\d{1,18}(\\*\\d{1,6}(\\.\\d{1,3})?)?");
+    private static final Pattern HEADER_NAME = Pattern.compile("[a-z0-9-]*");
+    private static final double DEFAULT_WEIGHT = 1;
+    private static final String DEFAULT_KEY = "message.id";
+    private static final long MIN_CANARY_STEP_MS = 1_000;
+
+    private final RuleExpressions expressions;
+    private final RuleFaults faults;
+
+    /** A route, and the expression of the key that it assigns to a destination. */
+    record KeyedRoute(Route route, Program key) {}
+
+    RouteReader(RuleExpressions expressions, RuleFaults faults) {
+        this.expressions = expressions;
+        this.faults = faults;
+    }
+
+    /** The routes by name, in their order; what is wrong with them is added to the faults. */
+    Map<String, KeyedRoute> read(Iterable<Section> sections) {
+        Map<String, KeyedRoute> routes = new LinkedHashMap<>();
+        for (Section section : sections) {
+            if (section.kind().equals("route")) {
+                routes.put(section.name(), read(section));
+            }
+        }
+        return routes;
+    }
+
+    private KeyedRoute read(Section section) {
+        List<Route.Member> members = members(section);
+        Map<String, List<Long>> subsets = subsets(section, members);
+        String header = header(section);
+        Program key = expressions
+                .program(section, "by", Type.Plain.STRING)
+                .orElseGet(() -> expressions.builtIn(DEFAULT_KEY, Type.Plain.STRING));
+        List<Long> fallbacks = SectionValues.destinations(section, "fallback", faults);
+        Route.Canary canary = section.has("canary") ? canary(section) : null;
+        return new KeyedRoute(new Route(section.name(), members, subsets, fallbacks, canary, header), key);
+    }
+
+    private List<Route.Member> members(Section section) {
+        List<Route.Member> members = new ArrayList<>();
+        for (String word : section.text("to", "").split("[ \n]+")) {
+            if (MEMBER.matcher(word).matches() && !word.endsWith("*0")) {
+                members.add(member(word));
+            } else {
+                reportMember(section, word);
+            }
+        }
+        if (destinations(members).stream().distinct().count() < members.size()) {
+            faults.add(section, "to", "a destination stands twice, allowed: once");
+        }
+        return members;
+    }
+
+    private static Route.Member member(String word) {
+        int asterisk = word.indexOf('*');
+        if (asterisk < 0) {
+            return new Route.Member(Long.parseLong(word), DEFAULT_WEIGHT);
+        }
+        long destination = Long.parseLong(word.substring(0, asterisk));
+        return new Route.Member(destination, Double.parseDouble(word.substring(asterisk + 1)));
+    }
+
+    private void reportMember(Section section, String word) {
+        String problem = "'" + word + "' is no member, allowed: DESTINATION or DESTINATION*WEIGHT, apart by spaces";
+        if (section.has("to")) {
+            faults.add(section, "to", problem);
+        } else {
+            faults.add(section, problem);
+        }
+    }
+
+    private static List<Long> destinations(List<Route.Member> members) {
+        return members.stream().map(Route.Member::destination).toList();
+    }
+
+    private Map<String, List<Long>> subsets(Section section, List<Route.Member> members) {
+        Map<String, List<Long>> subsets = new LinkedHashMap<>();
+        for (String key : section.values().keySet()) {
+            if (!key.startsWith(SectionKeys.SUBSET_PREFIX)) {
+                continue;
+            }
+            List<Long> subset = SectionValues.destinations(section, key, faults);
+            if (subset.isEmpty() || !destinations(members).containsAll(subset)) {
+                faults.add(section, key, "names what is not in 'to', allowed: members of the route");
+            }
+            subsets.put(key.substring(SectionKeys.SUBSET_PREFIX.length()), subset);
+        }
+        return subsets;
+    }
+
+    private String header(Section section) {
+        String header = section.text("header", "").toLowerCase(Locale.ROOT);
+        if (!HEADER_NAME.matcher(header).matches()) {
+            faults.add(section, "header", "'" + header + "' is no name of a header");
+        }
+        return header;
+    }
+
+    /** The canary of a section that has one; null where it is faulty. */
+    private Route.Canary canary(Section section) {
+        List<Long> destinations = SectionValues.destinations(section, "canary", faults);
+        List<Double> stepsPercent;
+        long startMs;
+        long stepMs;
+        try {
+            stepsPercent = Arrays.stream(
+                            section.text("canary_steps", "").strip().split("[ \n]+"))
+                    .map(Double::valueOf)
+                    .toList();
+            startMs = OffsetDateTime.parse(section.text("canary_from", ""))
+                    .toInstant()
+                    .toEpochMilli();
+            stepMs = Duration.parse("PT" + section.text("canary_every", "")).toMillis();
+        } catch (NumberFormatException | DateTimeException e) {
+            faults.add(
+                    section,
+                    "canary",
+                    "lacks its steps or has unusable ones, allowed: canary_steps in percent apart by spaces, canary_from a time "
+                            + "such as 2026-12-01T08:00:00Z, canary_every such as 10M or 1H");
+            return null;
+        }
+        if (!isRising(stepsPercent) || stepMs < MIN_CANARY_STEP_MS || destinations.size() != 1) {
+            faults.add(
+                    section,
+                    "canary",
+                    "allowed: one destination, canary_steps from 0 to 100 that do not fall, canary_every of a second or more");
+            return null;
+        }
+        return new Route.Canary(destinations.get(0), stepsPercent, startMs, stepMs);
+    }
+
+    /** Whether these are percentages that never fall. */
+    private static boolean isRising(List<Double> stepsPercent) {
+        double previous = 0;
+        for (double step : stepsPercent) {
+            if (!(step >= previous)) { // false for NaN too
+                return false;
+            }
+            previous = step;
+        }
+        return previous <= 100;
+    }
+}
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -2,127 +2,62 @@
 
 import elderseam.rules.cel.EvaluationError;
 import elderseam.rules.cel.Program;
-import java.time.Duration;
+import java.util.List;
 
-/** One rule: when it matches, and what it makes of a message then; each result an expression of its own. */
+/** One rule: a condition, and what it makes of the messages that meet it. Confined to the thread that evaluates rules. */
 final class Rule {
-    private static final int MOST_KEY = 512;
-
     final String name;
-    final Program when; // null: always
-    Program cls, tenant, destination, key, deadline, refuse, routeBy, limitBy;
-    Route route;
-    String subset = "";
-    KeyedRateLimiter limit;
-    int priority = -1;
-    long matched, errors;
-
-    // results of the last evaluation: they are set once all of them could be had
-    private int clsResult, tenantResult;
-    private long destinationResult, deadlineResult, refuseResult;
-    private String keyResult, limitKey;
-
-    Rule(String name, Program when) {
+    private final Program condition; // null for always
+    private final RuleAction[] actions;
+    private long matchCount;
+    private long errorCount;
+
+    /**
+     * @param condition null if the rule matches every message
+     * @param actions in the order in which they are evaluated
+     */
+    Rule(String name, Program condition, List<RuleAction> actions) {
         this.name = name;
-        this.when = when;
+        this.condition = condition;
+        this.actions = actions.toArray(new RuleAction[0]);
     }
 
-    /** Whether it matches; {@code a.error()} tells where that could not be said. */
-    boolean matches(RuleInput a) {
-        return when == null || when.truth(a);
+    /**
+     * Evaluates the condition; {@code input.error()} is then its error, and the result meaningless. A rule without a
+     * condition evaluates nothing, and leaves the error of the evaluation before it.
+     */
+    boolean matches(RuleInput input) {
+        return condition == null || condition.truth(input);
     }
 
-    /** Evaluates every result; what went wrong, or null. */
-    EvaluationError evaluate(RuleInput a, Rulebook book) {
-        EvaluationError e = null;
-        if (cls != null) {
-            clsResult = book.cls(cls.value(a));
-            e = a.error() != null ? a.error() : clsResult < 0 ? new EvaluationError("no such class") : null;
-        }
-        if (e == null && tenant != null) {
-            tenantResult = book.tenant(tenant.value(a));
-            e = a.error() != null ? a.error() : tenantResult < 0 ? new EvaluationError("no such tenant") : null;
-        }
-        if (e == null && destination != null) {
-            destinationResult = destination.whole(a);
-            e = a.error() != null
-                    ? a.error()
-                    : Rulebook.destination(destinationResult)
-                            ? null
-                            : new EvaluationError("no destination: " + destinationResult);
-        }
-        if (e == null && key != null) {
-            Object v = key.value(a);
-            keyResult = v instanceof String s ? s : "";
-            e = a.error() != null
-                    ? a.error()
-                    : keyResult.isEmpty() || keyResult.length() > MOST_KEY
-                            ? new EvaluationError(
-                                    "a key of " + keyResult.length() + " characters, allowed: 1 to " + MOST_KEY)
-                            : null;
-        }
-        if (e == null && deadline != null) {
-            deadlineResult = ns(deadline.value(a));
-            e = a.error() != null ? a.error() : deadlineResult < 0 ? new EvaluationError("a deadline below 0") : null;
-        }
-        if (e == null && refuse != null) {
-            refuseResult = ns(refuse.value(a));
-            e = a.error() != null ? a.error() : refuseResult < 0 ? new EvaluationError("a time below 0") : null;
-        }
-        if (e == null && route != null) {
-            e = route(a);
-        }
-        if (e == null && limit != null) {
-            Object v = limitBy.value(a);
-            limitKey = v instanceof String s ? s : "";
-            e = a.error();
+    /** Evaluates every action; returns what went wrong, or null. */
+    EvaluationError evaluate(RuleInput input) {
+        for (RuleAction action : actions) {
+            EvaluationError error = action.evaluate(input);
+            if (error != null) {
+                return error;
+            }
         }
-        return e;
+        return null;
     }
 
-    private EvaluationError route(RuleInput a) {
-        Object by = routeBy.value(a);
-        if (!(by instanceof String s)) {
-            return a.error() != null ? a.error() : new EvaluationError("a route's key that is no string");
+    /** Sets what {@link #evaluate} came to, and counts a match. */
+    void apply(RuleResult result) {
+        matchCount++;
+        for (RuleAction action : actions) {
+            action.apply(result);
         }
-        String told = route.header.isEmpty() ? "" : a.facts().headers().getOrDefault(route.header, "");
-        destinationResult = route.destination(s, subset, told, a.wallMs(), a.state()::breaker);
-        return destinationResult < 0
-                ? new EvaluationError(
-                        "'" + told + "' in " + route.header + " is no destination or subset of route " + route.name)
-                : null;
     }
 
-    private static long ns(Object v) {
-        return v instanceof Duration d ? d.toSeconds() > 1_000_000 ? 1_000_000_000_000_000L : d.toNanos() : -1;
+    void countError() {
+        errorCount++;
     }
 
-    /** Sets what was evaluated. */
-    void apply(RuleResult r) {
-        if (cls != null) {
-            r.cls = clsResult;
-        }
-        if (tenant != null) {
-            r.tenant = tenantResult;
-        }
-        if (destination != null || route != null) {
-            r.destination = destinationResult;
-        }
-        if (key != null) {
-            r.key = keyResult;
-        }
-        if (deadline != null) {
-            r.deadlineNs = Math.min(r.deadlineNs, deadlineResult);
-        }
-        if (priority >= 0) {
-            r.priority = priority;
-        }
-        if (limit != null) {
-            r.charges.add(new RuleResult.Charge(limit, limitKey));
-        }
-        if (refuse != null) {
-            r.refuseNs = refuseResult;
-            r.by = name;
-        }
+    long matchCount() {
+        return matchCount;
+    }
+
+    long errorCount() {
+        return errorCount;
     }
 }
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -8,150 +8,206 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
- * What is made of each message: by the rulebook in place, and, for keys, by the earlier ones of which keys are remembered. A message
- * that was taken on is never asked about again. Without I/O; one thread owns it.
+ * Applies the rules in force to each new message, and computes its idempotency keys by earlier rules too, while any key
+ * of those is remembered. Does no I/O and reads no clock; confined to the thread that evaluates rules.
  */
 public final class RuleEngine {
-    /** Earlier schemes that are asked about each message at the most. */
-    public static final int MOST_REMEMBERED = 8;
-    /** A message that is not urgent comes again after this while much is held. */
-    private static final long LATER_NS = 1_000 * Clock.MS;
+    /** How many earlier key schemes are remembered at most; each costs an evaluation for each message. */
+    public static final int MAX_EARLIER_SCHEMES = 8;
 
-    /** {@code fault}: what is missing, or empty. */
-    public record Decided(ActiveRequest.Message message, List<String> also, String fault) {}
+    /** Retry-After of a message of low priority while the dispatcher holds much. */
+    private static final long LOW_PRIORITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
+
+    /** A message of priority p below the default is rejected while (p + 1) of so many parts of the capacity are held. */
+    private static final double PRIORITY_LEVELS = 10.0;
+
+    private static final long NANOS_PER_SECOND = 1_000 * Clock.MS;
+
+    /** What the rules make of a message. */
+    public sealed interface Decision {}
+
+    /**
+     * The message has a class and a destination; whether it may be accepted, {@link #admit} tells.
+     *
+     * @param message as the rules changed it
+     * @param alternateKeys its idempotency keys by earlier rules
+     */
+    public record Routed(ActiveRequest.Message message, List<String> alternateKeys) implements Decision {}
+
+    /** Neither the message nor a rule says what class it has, or where it goes; {@code reason} tells which. */
+    public record Incomplete(String reason) implements Decision {}
+
+    private static final Incomplete NO_CLASS = new Incomplete("the type is no class of message, and no rule gives one");
+    private static final Incomplete NO_DESTINATION = new Incomplete("destination is missing, and no rule gives one");
 
     private final List<Long> deadlinesNs;
-    private final long mostAgainNs;
-    private final int mostHeld;
-    private final RuleEnvironment state;
+    private final long maxRetryAfterNs;
+    private final int maxHeld;
+    private final RuleEnvironment environment;
     private final Consumer<String> log;
-    private final Map<IdempotencyKeyScheme, Rulebook> earlier = new LinkedHashMap<>();
-    private final RuleResult ruling = new RuleResult(false), scratch = new RuleResult(false);
-    private Rulebook book; // or null
+    private final Map<IdempotencyKeyScheme, Rulebook> earlierRules = new LinkedHashMap<>();
+    private final RuleResult result = RuleResult.untraced(); // of the message decided last
+    private final RuleResult earlierResult = RuleResult.untraced();
+    private Rulebook rulebook; // null while there are no rules
 
     /**
-     * @param deadlinesNs by class: for a message that is given another
-     * @param mostAgainNs no time to come back is longer; 0 for any
+     * @param deadlinesNs the longest deadline of each class, by its index
+     * @param maxRetryAfterNs the longest Retry-After of a rejection; 0 for no bound
+     * @param maxHeld how many requests the dispatcher may hold
+     * @param log where rules that end in an error are logged, at a bounded rate
      */
     public RuleEngine(
-            List<Long> deadlinesNs, long mostAgainNs, int mostHeld, RuleEnvironment state, Consumer<String> log) {
+            List<Long> deadlinesNs,
+            long maxRetryAfterNs,
+            int maxHeld,
+            RuleEnvironment environment,
+            Consumer<String> log) {
         this.deadlinesNs = List.copyOf(deadlinesNs);
-        this.mostAgainNs = mostAgainNs;
-        this.mostHeld = mostHeld;
-        this.state = state;
+        this.maxRetryAfterNs = maxRetryAfterNs;
+        this.maxHeld = maxHeld;
+        this.environment = environment;
         this.log = log;
     }
 
-    /** From the next message on this rulebook counts, or none; the keys of the last one are remembered. */
-    public void put(Rulebook fresh) {
-        Rulebook old = book;
-        book = fresh;
-        if (fresh != null) {
-            fresh.log(log);
-        }
-        if (old != null && fresh != null) {
-            fresh.inherit(old);
-        }
-        if (old != null
-                && old.scheme() != null
-                && (fresh == null || !old.scheme().equals(fresh.scheme()))) {
-            remember(old.scheme(), old);
-        }
-        if (fresh != null && fresh.scheme() != null) {
-            earlier.remove(fresh.scheme()); // back again
+    /**
+     * Puts rules in force from the next message on; empty for none. The keys of the rules before are remembered, and
+     * their limits and rates go on in the new ones.
+     */
+    public void activate(Optional<Rulebook> rules) {
+        Rulebook previous = rulebook;
+        rulebook = rules.orElse(null);
+        rules.ifPresent(fresh -> fresh.logErrorsTo(log));
+        Optional<IdempotencyKeyScheme> scheme = rules.flatMap(Rulebook::keyScheme);
+        if (previous != null) {
+            rules.ifPresent(fresh -> fresh.inherit(previous));
+            if (!previous.keyScheme().equals(scheme)) {
+                previous.keyScheme().ifPresent(earlier -> rememberScheme(earlier, previous));
+            }
         }
+        scheme.ifPresent(earlierRules::remove); // it may be one of earlier that is back in force
     }
 
-    /** Keys of this scheme are told too. */
-    public void remember(IdempotencyKeyScheme scheme, Rulebook of) {
-        earlier.put(scheme, of);
+    /** Computes each message's key by these rules too. */
+    public void rememberScheme(IdempotencyKeyScheme scheme, Rulebook rules) {
+        earlierRules.put(scheme, rules);
     }
 
-    /** Of no others is any key remembered. */
-    public void forget(Collection<String> others) {
-        earlier.keySet().removeIf(s -> !others.contains(s.name()));
+    /** Forgets the earlier schemes that have none of these names. */
+    public void retainSchemes(Collection<String> names) {
+        earlierRules.keySet().removeIf(scheme -> !names.contains(scheme.name()));
     }
 
-    public int remembered() {
-        return earlier.size();
+    /** The number of earlier schemes that are remembered. */
+    public int earlierSchemeCount() {
+        return earlierRules.size();
     }
 
-    public String counts() {
-        return book == null ? "none" : book.counts();
+    /** How often each rule matched and ended in an error, as one line; {@code none} while there are no rules. */
+    public String statistics() {
+        return rulebook == null ? "none" : rulebook.statistics();
     }
 
-    /** The message as rules have it. Whether it may be taken on, {@link #admit} says, at once and before another message is decided. */
-    public Decided decide(ActiveRequest.Message m, RequestAttributes facts, long now, long wallMs) {
-        List<String> also = earlier.isEmpty() ? List.of() : new ArrayList<>();
-        earlier.forEach((scheme, of) -> {
-            of.decide(m, facts, state, now, wallMs, scratch);
-            if (!scratch.key.isEmpty()) {
-                also.add(scheme.same(scratch.key));
+    /**
+     * Applies the rules to a message. {@link #admit} has to be called before the next message is decided.
+     *
+     * @param nowNs of the dispatcher's clock
+     * @param wallMs milliseconds since the epoch
+     */
+    public Decision decide(ActiveRequest.Message message, RequestAttributes attributes, long nowNs, long wallMs) {
+        List<String> alternateKeys =
+                earlierRules.isEmpty() ? List.of() : keysByEarlierRules(message, attributes, nowNs, wallMs);
+        result.begin(message.classIndex(), message.tenantIndex(), message.destination());
+        if (rulebook != null) {
+            rulebook.countArrival(message.tenantIndex(), nowNs);
+            rulebook.decide(message, attributes, environment, nowNs, wallMs, result);
+        }
+        if (result.classIndex < 0) {
+            return NO_CLASS;
+        }
+        if (result.destination < 0) {
+            return NO_DESTINATION;
+        }
+        return new Routed(changed(message, nowNs), alternateKeys);
+    }
+
+    private List<String> keysByEarlierRules(
+            ActiveRequest.Message message, RequestAttributes attributes, long nowNs, long wallMs) {
+        List<String> keys = new ArrayList<>();
+        earlierRules.forEach((scheme, rules) -> {
+            rules.decide(message, attributes, environment, nowNs, wallMs, earlierResult);
+            if (!earlierResult.key.isEmpty()) {
+                keys.add(scheme.deduplicationKey(earlierResult.key));
             }
         });
-        ruling.begin(m.classIndex(), m.tenantIndex(), m.destination());
-        if (book != null) {
-            book.arrived(m.tenantIndex(), now);
-            book.decide(m, facts, state, now, wallMs, ruling);
-        }
-        String fault = ruling.cls < 0
-                ? "the type is no class of message, and no rule gives one"
-                : ruling.destination < 0 ? "destination is missing, and no rule gives one" : "";
-        return new Decided(fault.isEmpty() ? changed(m, now) : m, also, fault);
+        return keys;
     }
 
-    private ActiveRequest.Message changed(ActiveRequest.Message m, long now) {
-        String same = ruling.key.isEmpty() ? "" : book.scheme().same(ruling.key);
-        boolean other = ruling.cls != m.classIndex();
-        long deadline = m.deadline();
-        if (other) { // that of the class it came as may be longer
-            deadline = Math.min(deadline, now + deadlinesNs.get(ruling.cls));
+    /** The message with the result of the rules; the same object where they change nothing. */
+    private ActiveRequest.Message changed(ActiveRequest.Message message, long nowNs) {
+        boolean hasKey = !result.key.isEmpty();
+        long deadline = deadline(message, nowNs);
+        if (!hasKey
+                && result.classIndex == message.classIndex()
+                && result.tenantIndex == message.tenantIndex()
+                && result.destination == message.destination()
+                && deadline == message.deadline()) {
+            return message;
         }
-        if (ruling.deadlineNs < deadline - now) {
-            deadline = now + ruling.deadlineNs;
+        long rememberUntil = message.rememberUntil();
+        String deduplicationKey = "";
+        if (hasKey) {
+            rememberUntil = Math.max(rememberUntil, nowNs + rulebook.limits().rememberSeconds() * NANOS_PER_SECOND);
+            deduplicationKey = rulebook.keyScheme().orElseThrow().deduplicationKey(result.key);
         }
-        if (same.isEmpty()
-                && !other
-                && ruling.tenant == m.tenantIndex()
-                && ruling.destination == m.destination()
-                && deadline == m.deadline()) {
-            return m;
-        }
-        long remember = same.isEmpty()
-                ? m.rememberUntil()
-                : Math.max(m.rememberUntil(), now + book.extent().rememberS() * 1_000L * Clock.MS);
-        // with a key, one that may have run is failed and not refused: its copy may come as a class that must not run
-        // twice
         return new ActiveRequest.Message(
-                m.id(),
-                m.frontend(),
-                ruling.cls,
-                ruling.tenant,
-                ruling.destination,
+                message.id(),
+                message.frontend(),
+                result.classIndex,
+                result.tenantIndex,
+                result.destination,
                 deadline,
-                remember,
-                m.resubmitted(),
-                m.retriesWithinKeyWindow() && same.isEmpty(),
-                m.idempotencyKey(),
-                m.body(),
-                same);
+                rememberUntil,
+                message.resubmitted(),
+                // With a key, a message that may have run fails instead of being rejected: a duplicate may come as a
+                // class that must not run twice.
+                message.retriesWithinKeyWindow() && !hasKey,
+                message.idempotencyKey(),
+                message.body(),
+                deduplicationKey);
     }
 
-    /** How long the message that was decided last had better stay away; 0: it is to be taken on, and its limits have counted it. */
-    public long admit(long now) {
-        if (ruling.refuseNs >= 0) {
-            return bounded(Math.max(1, ruling.refuseNs));
+    /** The message's deadline, which another class or a rule can only shorten. */
+    private long deadline(ActiveRequest.Message message, long nowNs) {
+        long deadline = message.deadline();
+        if (result.classIndex != message.classIndex()) {
+            deadline = Math.min(deadline, nowNs + deadlinesNs.get(result.classIndex));
+        }
+        if (result.deadlineNs < deadline - nowNs) {
+            deadline = nowNs + result.deadlineNs;
+        }
+        return deadline;
+    }
+
+    /**
+     * Whether the message that was decided last may be accepted: 0 if so, and its limits are then charged; otherwise
+     * the Retry-After of its rejection in nanoseconds.
+     */
+    public long admit(long nowNs) {
+        if (result.isRejected()) {
+            return bounded(Math.max(1, result.retryAfterNs));
         }
-        if (ruling.priority < RuleResult.USUAL_PRIORITY && state.held() >= mostHeld / 10.0 * (ruling.priority + 1)) {
-            return bounded(LATER_NS);
+        if (result.priority < RuleResult.DEFAULT_PRIORITY
+                && environment.requestsHeld() >= maxHeld / PRIORITY_LEVELS * (result.priority + 1)) {
+            return bounded(LOW_PRIORITY_RETRY_AFTER_NS);
         }
-        return bounded(Rulebook.charge(ruling, now));
+        return bounded(Rulebook.charge(result, nowNs));
     }
 
-    private long bounded(long ns) {
-        return mostAgainNs > 0 ? Math.min(mostAgainNs, ns) : ns;
+    private long bounded(long retryAfterNs) {
+        return maxRetryAfterNs > 0 ? Math.min(maxRetryAfterNs, retryAfterNs) : retryAfterNs;
     }
 }
--- a/src/main/java/elderseam/rules/RuleEnvironment.java
+++ b/src/main/java/elderseam/rules/RuleEnvironment.java
@@ -1,31 +1,34 @@
 package elderseam.rules;
 
-/** How the dispatcher stands, for rules that ask; asked on the thread that decides. */
+/** The dispatcher's state, for rules that read it. Called on the thread that evaluates rules. */
 public interface RuleEnvironment {
-    /** How a destination's breaker stands. */
+    /** State of a destination's circuit breaker. */
     enum Breaker {
         CLOSED,
         HALF_OPEN,
         OPEN
     }
 
-    /** CLOSED too where nothing is known. */
+    /** What {@link #tenantRate} returns where the rules have to measure the rate themselves. */
+    double RATE_NOT_MEASURED = -1;
+
+    /** The destination's circuit breaker; CLOSED too where nothing is known of the destination. */
     Breaker breaker(long destination);
 
-    /** The wait that a destination has told, in ns; 0 for none. */
-    long waitNs(long destination);
+    /** What remains of the destination's Retry-After, in nanoseconds; 0 for none. */
+    long retryAfterNs(long destination);
 
-    /** Calls out to it. */
-    int inFlight(long destination);
+    /** How many attempts are in flight to the destination. */
+    int attemptsInFlight(long destination);
 
-    /** Messages that are held. */
-    int held();
+    /** How many requests the dispatcher holds. */
+    int requestsHeld();
 
-    /** Messages a second that a tenant hands in, where that is told; below 0 to have it counted. */
-    default double rate(int tenant) {
-        return -1;
+    /** The tenant's requests a second; {@link #RATE_NOT_MEASURED} or any other value below 0 where it isn't known. */
+    default double tenantRate(int tenantIndex) {
+        return RATE_NOT_MEASURED;
     }
 
-    /** A tenant's share, in messages a second; 0 for a tenant that is not known. */
-    double share(int tenant);
+    /** The tenant's quota in requests a second; 0 for an unknown tenant. */
+    double tenantQuota(int tenantIndex);
 }
--- a/src/main/java/elderseam/rules/RuleInput.java
+++ b/src/main/java/elderseam/rules/RuleInput.java
@@ -1,5 +1,6 @@
 package elderseam.rules;
 
+import elderseam.core.ActiveRequest;
 import elderseam.core.RequestAttributes;
 import elderseam.rules.cel.EvaluationError;
 import elderseam.rules.cel.EvaluationInputs;
@@ -11,130 +12,168 @@
 import java.util.Map;
 
 /**
- * One message as rules see it: what its front knows, what the message is by now (a table sees what the tables before it made of it),
- * and how the dispatcher stands. Used again for each message; the body is read at the first rule that comes to a field of it.
+ * The values of the variables for one message: what its front end knows, what the tables before made of it, and the
+ * dispatcher's state. Reused for each message; the body is parsed when the first rule reads a field of it. Confined to
+ * the thread that evaluates rules.
  */
 final class RuleInput extends EvaluationInputs {
-    private static final EvaluationError LONG =
-            new EvaluationError("a value above " + RuleLimits.HEADER_CHARS + " characters");
+    private static final EvaluationError TOO_LONG =
+            new EvaluationError("a value above " + RuleLimits.MAX_HEADER_CHARS + " characters");
 
-    private final List<String> classes, tenants;
-    private final JsonFieldExtractor bodies;
-    private final int[] fields; // of a name: its field's number
-    private final Calendar calendar;
+    private final KnownNames names;
     private final TenantRates rates;
-    private Object[] body;
-    private RequestAttributes facts;
-    private RuleEnvironment state;
-    private long now, wallMs;
-    String id, key;
-    int cls, tenant;
-    long destination, remainingNs;
-    boolean resent;
-
-    RuleInput(RuleLimits extent, Scope scope, List<String> classes, List<String> tenants, TenantRates rates) {
-        this.classes = classes;
-        this.tenants = tenants;
+    private final LocalCalendar calendar;
+    private final JsonFieldExtractor bodyFields; // null if no rule reads the body
+    private final int[] fieldOfVariable; // the extractor's number of a field, by the variable's number
+
+    private ActiveRequest.Message message;
+    private RequestAttributes attributes;
+    private RuleEnvironment environment;
+    private long nowNs;
+    private long wallMs;
+    private Object[] body; // its fields; null until one is read
+    private int classIndex;
+    private int tenantIndex;
+    private long destination;
+
+    /** For rules that were compiled against this scope; no expression may be compiled against it afterwards. */
+    RuleInput(RuleLimits limits, Scope scope, KnownNames names, TenantRates rates) {
+        this.names = names;
         this.rates = rates;
-        this.calendar = new Calendar(extent.zone());
-        this.fields = new int[scope.size()];
+        this.calendar = new LocalCalendar(limits.zone());
+        this.fieldOfVariable = new int[scope.size()];
         List<List<String>> paths = new ArrayList<>();
-        for (Map.Entry<Integer, List<String>> f : scope.fields().entrySet()) {
-            fields[f.getKey()] = paths.size();
-            paths.add(f.getValue());
+        for (Map.Entry<Integer, List<String>> field : scope.fields().entrySet()) {
+            fieldOfVariable[field.getKey()] = paths.size();
+            paths.add(field.getValue());
         }
-        this.bodies = paths.isEmpty() ? null : new JsonFieldExtractor(extent, paths);
+        this.bodyFields = paths.isEmpty() ? null : new JsonFieldExtractor(limits, paths);
     }
 
-    /** Another message; {@code now} is of the dispatcher's clock in ns. */
-    void begin(RequestAttributes facts, RuleEnvironment state, long now, long wallMs) {
-        this.facts = facts;
-        this.state = state;
-        this.now = now;
+    /**
+     * Begins with another message.
+     *
+     * @param nowNs of the dispatcher's clock
+     * @param wallMs milliseconds since the epoch
+     */
+    void begin(
+            ActiveRequest.Message message,
+            RequestAttributes attributes,
+            RuleEnvironment environment,
+            long nowNs,
+            long wallMs) {
+        this.message = message;
+        this.attributes = attributes;
+        this.environment = environment;
+        this.nowNs = nowNs;
         this.wallMs = wallMs;
         this.body = null;
+        this.classIndex = message.classIndex();
+        this.tenantIndex = message.tenantIndex();
+        this.destination = message.destination();
     }
 
-    RequestAttributes facts() {
-        return facts;
+    /** From now on the message is seen as a table has changed it. */
+    void update(RuleResult result) {
+        classIndex = result.classIndex;
+        tenantIndex = result.tenantIndex;
+        destination = result.destination;
     }
 
-    RuleEnvironment state() {
-        return state;
+    RequestAttributes attributes() {
+        return attributes;
     }
 
-    long wallMs() {
-        return wallMs;
+    RuleEnvironment environment() {
+        return environment;
     }
 
-    long now() {
-        return now;
+    /** Milliseconds since the epoch. */
+    long wallMs() {
+        return wallMs;
     }
 
-    private static Object bounded(String s) {
-        return s.length() > RuleLimits.HEADER_CHARS ? LONG : s;
+    /** Of the dispatcher's clock. */
+    long nowNs() {
+        return nowNs;
     }
 
     @Override
-    protected Object value(int name) {
-        return switch (name) {
-            case RuleVariables.FRONT -> facts.front();
-            case RuleVariables.METHOD -> facts.method();
-            case RuleVariables.PATH -> bounded(facts.path());
-            case RuleVariables.HEADERS -> facts.headers();
-            case RuleVariables.SOURCE -> facts.source();
-            case RuleVariables.ID -> id;
-            case RuleVariables.CLASS -> cls < 0 ? "" : classes.get(cls);
-            case RuleVariables.TENANT -> tenant < 0 ? "" : tenants.get(tenant);
-            case RuleVariables.KEY -> key;
-            case RuleVariables.EVENT -> facts.attributes();
-            case RuleVariables.BREAKER ->
-                switch (state.breaker(destination)) {
-                    case CLOSED -> "closed";
-                    case HALF_OPEN -> "half_open";
-                    case OPEN -> "open";
-                };
-            case RuleVariables.REMAINING -> Duration.ofNanos(remainingNs);
-            case RuleVariables.WAIT -> Duration.ofNanos(state.waitNs(destination));
+    protected Object value(int variable) {
+        return switch (variable) {
+            case RuleVariables.FRONT -> attributes.front();
+            case RuleVariables.METHOD -> attributes.method();
+            case RuleVariables.PATH -> bounded(attributes.path());
+            case RuleVariables.HEADERS -> attributes.headers();
+            case RuleVariables.SOURCE -> attributes.source();
+            case RuleVariables.ID -> message.id();
+            case RuleVariables.CLASS -> name(names.classes(), classIndex);
+            case RuleVariables.TENANT -> name(names.tenants(), tenantIndex);
+            case RuleVariables.KEY -> message.idempotencyKey();
+            case RuleVariables.EVENT -> attributes.attributes();
+            case RuleVariables.BREAKER -> breakerName(environment.breaker(destination));
+            case RuleVariables.REMAINING -> Duration.ofNanos(Math.max(0, message.deadline() - nowNs));
+            case RuleVariables.WAIT -> Duration.ofNanos(environment.retryAfterNs(destination));
             case RuleVariables.NOW -> Instant.ofEpochMilli(wallMs);
-            case RuleVariables.RESENT -> truth(name);
-            case RuleVariables.RATE, RuleVariables.SHARE -> real(name);
-            default -> name >= RuleVariables.NAMES ? field(name) : (Object) whole(name);
+            case RuleVariables.RESENT -> truth(variable);
+            case RuleVariables.RATE, RuleVariables.SHARE -> real(variable);
+            default -> variable >= RuleVariables.COUNT ? bodyField(variable) : (Object) whole(variable);
         };
     }
 
-    private Object field(int name) {
+    private static Object bounded(String text) {
+        return text.length() > RuleLimits.MAX_HEADER_CHARS ? TOO_LONG : text;
+    }
+
+    private static String name(List<String> names, int index) {
+        return index < 0 ? "" : names.get(index);
+    }
+
+    private static String breakerName(RuleEnvironment.Breaker breaker) {
+        return switch (breaker) {
+            case CLOSED -> "closed";
+            case HALF_OPEN -> "half_open";
+            case OPEN -> "open";
+        };
+    }
+
+    private Object bodyField(int variable) {
         if (body == null) {
-            body = bodies.read(facts.body());
+            body = bodyFields.extract(attributes.body());
         }
-        return body[fields[name]];
+        return body[fieldOfVariable[variable]];
     }
 
     @Override
-    protected long whole(int name) {
-        return switch (name) {
-            case RuleVariables.SIZE -> facts.body().length;
+    protected long whole(int variable) {
+        return switch (variable) {
+            case RuleVariables.SIZE -> attributes.body().length;
             case RuleVariables.DESTINATION -> destination;
-            case RuleVariables.IN_FLIGHT -> state.inFlight(destination);
-            case RuleVariables.HELD -> state.held();
+            case RuleVariables.IN_FLIGHT -> environment.attemptsInFlight(destination);
+            case RuleVariables.HELD -> environment.requestsHeld();
             default ->
-                name >= RuleVariables.YEAR && name <= RuleVariables.DAYS_LEFT
-                        ? calendar.part(name, wallMs)
-                        : super.whole(name);
+                variable >= RuleVariables.YEAR && variable <= RuleVariables.DAYS_LEFT
+                        ? calendar.part(variable, wallMs)
+                        : super.whole(variable);
         };
     }
 
     @Override
-    protected double real(int name) {
-        if (name == RuleVariables.RATE) {
-            double told = state.rate(tenant);
-            return told >= 0 ? told : rates.perSecond(tenant, now);
-        }
-        return name == RuleVariables.SHARE ? state.share(tenant) : super.real(name);
+    protected double real(int variable) {
+        return switch (variable) {
+            case RuleVariables.RATE -> tenantRate();
+            case RuleVariables.SHARE -> environment.tenantQuota(tenantIndex);
+            default -> super.real(variable);
+        };
+    }
+
+    private double tenantRate() {
+        double measured = environment.tenantRate(tenantIndex);
+        return measured >= 0 ? measured : rates.perSecond(tenantIndex, nowNs);
     }
 
     @Override
-    protected boolean truth(int name) {
-        return name == RuleVariables.RESENT ? resent : super.truth(name);
+    protected boolean truth(int variable) {
+        return variable == RuleVariables.RESENT ? message.resubmitted() : super.truth(variable);
     }
 }
--- a/src/main/java/elderseam/rules/RuleLimits.java
+++ b/src/main/java/elderseam/rules/RuleLimits.java
@@ -5,37 +5,52 @@
 import java.time.ZoneId;
 
 /**
- * How large inputs may be, in characters, items and levels, and what an expression may cost at the most, in units. What is larger
- * is an error where a rule comes to it.
+ * Bounds on what rules read and cost, and the zone of their local time. An input above its bound is an error of the rule
+ * that reads it. Costs are in units of about one small evaluation step.
  *
- * @param budget of one expression; {@code requestBudget}: of all that one request may meet
- * @param windowS seconds over which a tenant's rate is taken
- * @param rememberS seconds for which the end of a message with a key is remembered
+ * @param zone of {@code local.} variables
+ * @param maxBodyBytes largest body of which fields are read
+ * @param maxBodyDepth deepest nesting of such a body
+ * @param maxFieldChars longest string in a field of a body
+ * @param maxListItems most items in all lists and maps of one field
+ * @param expressionBudget most units that one expression may cost
+ * @param requestBudget most units that all rules together may cost for one request
+ * @param rateWindowSeconds over which a tenant's request rate is measured
+ * @param rememberSeconds for which the outcome of a request with an idempotency key is remembered
  */
 public record RuleLimits(
         ZoneId zone,
-        int bodyBytes,
-        int bodyDepth,
-        int fieldChars,
-        int listItems,
-        long budget,
+        int maxBodyBytes,
+        int maxBodyDepth,
+        int maxFieldChars,
+        int maxListItems,
+        long expressionBudget,
         long requestBudget,
-        int windowS,
-        int rememberS) {
-    static final int HEADERS = 64, HEADER_CHARS = 1_024, ATTRIBUTES = 32;
+        int rateWindowSeconds,
+        int rememberSeconds) {
+    /** Most headers of one request. */
+    static final int MAX_HEADERS = 64;
 
-    public static final RuleLimits USUAL = of(Settings.none());
+    /** Longest value of a header, an event's attribute or the path. */
+    static final int MAX_HEADER_CHARS = 1_024;
 
-    public static RuleLimits of(Settings s) {
+    /** Most attributes of one event. */
+    static final int MAX_ATTRIBUTES = 32;
+
+    /** The limits of settings that set none. */
+    public static final RuleLimits DEFAULTS = of(Settings.none());
+
+    /** The limits that the operator's settings give. */
+    public static RuleLimits of(Settings settings) {
         return new RuleLimits(
-                ZoneId.of(s.get(SettingKeys.RULES_ZONE)),
-                s.get(SettingKeys.RULES_BODY_BYTES).intValue(),
-                s.get(SettingKeys.RULES_BODY_DEPTH).intValue(),
-                s.get(SettingKeys.RULES_FIELD_CHARS).intValue(),
-                s.get(SettingKeys.RULES_LIST_ITEMS).intValue(),
-                s.get(SettingKeys.RULES_BUDGET),
-                s.get(SettingKeys.RULES_REQUEST_BUDGET),
-                s.get(SettingKeys.RULES_WINDOW_S).intValue(),
-                s.get(SettingKeys.RULES_REMEMBER_S).intValue());
+                ZoneId.of(settings.get(SettingKeys.RULES_ZONE)),
+                settings.get(SettingKeys.RULES_BODY_BYTES).intValue(),
+                settings.get(SettingKeys.RULES_BODY_DEPTH).intValue(),
+                settings.get(SettingKeys.RULES_FIELD_CHARS).intValue(),
+                settings.get(SettingKeys.RULES_LIST_ITEMS).intValue(),
+                settings.get(SettingKeys.RULES_BUDGET),
+                settings.get(SettingKeys.RULES_REQUEST_BUDGET),
+                settings.get(SettingKeys.RULES_WINDOW_S).intValue(),
+                settings.get(SettingKeys.RULES_REMEMBER_S).intValue());
     }
 }
--- a/src/main/java/elderseam/rules/RuleResult.java
+++ b/src/main/java/elderseam/rules/RuleResult.java
@@ -3,32 +3,56 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What the tables made of a message: what is not set stays as it was. Used again for each message. */
+/** What the tables made of one message; what no rule sets stays as it was. Mutable, and reused for each message. */
 final class RuleResult {
-    /** A limit that the message falls under, with its key. */
-    record Charge(KeyedRateLimiter limit, String key) {}
+    /** A rate limit that the message falls under, and its key there. */
+    record Charge(KeyedRateLimiter limiter, String key) {}
 
-    static final int USUAL_PRIORITY = 5;
+    /** The priority of a message to which no rule gives one. */
+    static final int DEFAULT_PRIORITY = 5;
 
-    int cls, tenant, priority;
-    long destination, deadlineNs, refuseNs;
-    String key, by; // by: the rule that refused or erred
+    /** {@link #deadlineNs} where no rule sets one. */
+    static final long NO_DEADLINE = Long.MAX_VALUE;
+
+    private static final long NOT_REJECTED = -1;
+
+    int classIndex; // below 0 for none
+    int tenantIndex; // below 0 for none
+    int priority;
+    long destination;
+    long deadlineNs; // from now
+    long retryAfterNs; // of a rejected message
+    String key; // empty for none
     final List<Charge> charges = new ArrayList<>(2);
-    final List<String> trace; // what matched and why not, where that is asked for; else null
 
-    RuleResult(boolean traced) {
-        trace = traced ? new ArrayList<>() : null;
+    /** Which rules matched, or why not, a line each; null unless it was asked for. */
+    final List<String> trace;
+
+    private RuleResult(List<String> trace) {
+        this.trace = trace;
+    }
+
+    static RuleResult untraced() {
+        return new RuleResult(null);
     }
 
-    void begin(int cls, int tenant, long destination) {
-        this.cls = cls;
-        this.tenant = tenant;
+    static RuleResult traced() {
+        return new RuleResult(new ArrayList<>());
+    }
+
+    /** Forgets the last message. */
+    void begin(int classIndex, int tenantIndex, long destination) {
+        this.classIndex = classIndex;
+        this.tenantIndex = tenantIndex;
         this.destination = destination;
-        deadlineNs = Long.MAX_VALUE;
-        refuseNs = -1;
-        priority = USUAL_PRIORITY;
+        deadlineNs = NO_DEADLINE;
+        retryAfterNs = NOT_REJECTED;
+        priority = DEFAULT_PRIORITY;
         key = "";
-        by = "";
         charges.clear();
     }
+
+    boolean isRejected() {
+        return retryAfterNs >= 0;
+    }
 }
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -2,191 +2,144 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.RequestAttributes;
-import elderseam.core.RequestDispatcher;
-import elderseam.rules.cel.EvaluationError;
-import java.util.IdentityHashMap;
+import elderseam.rules.cel.Scope;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
-/** All that one reading of the operator's rules came to. Decides without I/O; one thread owns it. */
+/**
+ * The rules of one reading of the operator's files: tables of rules, rate limits, and the tenants' request rates. Does
+ * no I/O and reads no clock. Confined to the thread that evaluates rules, but for the constructor.
+ */
 public final class Rulebook {
-    private static final long QUIET_NS = 10_000_000_000L; // between two words on the errors of one rule
-    private static final int MOST_WORDS = 5; // a second, on all of them
+    /** How many tenants' rates are measured where the configuration doesn't name the tenants. */
+    private static final int UNCHECKED_TENANT_COUNT = 1_000;
 
-    private final RuleLimits extent;
-    private final List<String> classes, tenants;
+    private final RuleLimits limits;
     private final List<RuleTable> tables;
-    private final Map<String, KeyedRateLimiter> limits;
-    private final RuleInput arrival;
+    private final Map<String, KeyedRateLimiter> limiters;
+    private final RuleInput input;
     private final TenantRates rates;
-    private final IdempotencyKeyScheme scheme;
-    private final IdentityHashMap<Rule, Long> told = new IdentityHashMap<>();
-    private Consumer<String> log = words -> {};
-    private long second, words;
-
+    private final Optional<IdempotencyKeyScheme> keyScheme;
+    private final RuleErrorLog errorLog = new RuleErrorLog();
+
+    /**
+     * @param scope against which the expressions of the tables were compiled
+     * @param limiters by name
+     * @param keyScheme of the keys that the rules give; empty if they give none
+     */
     Rulebook(
-            RuleLimits extent,
-            List<String> classes,
-            List<String> tenants,
+            RuleLimits limits,
+            KnownNames names,
+            Scope scope,
             List<RuleTable> tables,
-            Map<String, KeyedRateLimiter> limits,
-            RuleInput arrival,
-            TenantRates rates,
-            IdempotencyKeyScheme scheme) {
-        this.extent = extent;
-        this.classes = classes;
-        this.tenants = tenants;
-        this.tables = tables;
+            Map<String, KeyedRateLimiter> limiters,
+            Optional<IdempotencyKeyScheme> keyScheme) {
         this.limits = limits;
-        this.arrival = arrival;
-        this.rates = rates;
-        this.scheme = scheme;
+        this.tables = List.copyOf(tables);
+        this.limiters = limiters;
+        this.keyScheme = keyScheme;
+        int tenantCount = names.checked() ? names.tenants().size() : UNCHECKED_TENANT_COUNT;
+        this.rates = new TenantRates(tenantCount, limits.rateWindowSeconds());
+        this.input = new RuleInput(limits, scope, names, rates);
     }
 
-    /** Where errors of rules are told, at a bounded rate. */
-    public void log(Consumer<String> log) {
-        this.log = log;
+    /** Logs rules that end in an error to this sink, at a bounded rate; without a sink they are only counted. */
+    void logErrorsTo(Consumer<String> sink) {
+        errorLog.writeTo(sink);
     }
 
-    RuleLimits extent() {
-        return extent;
+    RuleLimits limits() {
+        return limits;
     }
 
-    /** By what its keys are told again; null where no rule yields one. */
-    public IdempotencyKeyScheme scheme() {
-        return scheme;
+    /** The scheme of the idempotency keys that these rules give; empty if no rule gives one. */
+    public Optional<IdempotencyKeyScheme> keyScheme() {
+        return keyScheme;
     }
 
-    public int rules() {
-        return tables.stream().mapToInt(t -> t.rules.size()).sum();
+    /** The number of rules in all tables. */
+    public int ruleCount() {
+        int count = 0;
+        for (RuleTable table : tables) {
+            count += table.rules().size();
+        }
+        return count;
     }
 
-    /** A tenant's message has come. */
-    void arrived(int tenant, long now) {
-        rates.arrived(tenant, now);
+    /** Counts a tenant's message towards its rate. */
+    void countArrival(int tenantIndex, long nowNs) {
+        rates.count(tenantIndex, nowNs);
     }
 
-    /** What the tables make of a message; {@code now} of the dispatcher's clock, in ns. */
+    /**
+     * Applies the tables to a message, until one rejects it. No limit is charged.
+     *
+     * @param nowNs of the dispatcher's clock
+     * @param wallMs milliseconds since the epoch
+     * @param result overwritten
+     */
     void decide(
-            ActiveRequest.Message m,
-            RequestAttributes facts,
-            RuleEnvironment state,
-            long now,
+            ActiveRequest.Message message,
+            RequestAttributes attributes,
+            RuleEnvironment environment,
+            long nowNs,
             long wallMs,
-            RuleResult into) {
-        decide(
-                m.id(),
-                m.classIndex(),
-                m.tenantIndex(),
-                m.destination(),
-                Math.max(0, m.deadline() - now),
-                m.resubmitted(),
-                m.idempotencyKey(),
-                facts,
-                state,
-                now,
-                wallMs,
-                into);
-    }
-
-    void decide(
-            String id,
-            int cls,
-            int tenant,
-            long destination,
-            long remainingNs,
-            boolean resent,
-            String key,
-            RequestAttributes facts,
-            RuleEnvironment state,
-            long now,
-            long wallMs,
-            RuleResult into) {
-        arrival.begin(facts, state, now, wallMs);
-        arrival.id = id;
-        arrival.cls = cls;
-        arrival.tenant = tenant;
-        arrival.destination = destination;
-        arrival.remainingNs = remainingNs;
-        arrival.resent = resent;
-        arrival.key = key;
-        into.begin(cls, tenant, destination);
-        for (int i = 0; i < tables.size() && into.refuseNs < 0; i++) {
-            tables.get(i).decide(arrival, into, this);
+            RuleResult result) {
+        input.begin(message, attributes, environment, nowNs, wallMs);
+        result.begin(message.classIndex(), message.tenantIndex(), message.destination());
+        for (int i = 0; i < tables.size() && !result.isRejected(); i++) {
+            tables.get(i).decide(input, result, errorLog);
         }
     }
 
-    /** How long a message had better stay away by the limits that it falls under; where it is 0 it has been counted under each. */
-    static long charge(RuleResult r, long now) {
-        long wait = 0;
-        for (int i = 0; i < r.charges.size(); i++) {
-            RuleResult.Charge c = r.charges.get(i);
-            wait = Math.max(wait, c.limit().waitNs(c.key(), now));
+    /**
+     * Charges the limits that a message falls under: all of them, or none if one is exhausted. Returns how long the
+     * message has to wait for them, in nanoseconds; 0 if they were charged.
+     */
+    static long charge(RuleResult result, long nowNs) {
+        long waitNs = 0;
+        for (int i = 0; i < result.charges.size(); i++) {
+            RuleResult.Charge charge = result.charges.get(i);
+            waitNs = Math.max(waitNs, charge.limiter().waitNs(charge.key(), nowNs));
+        }
+        if (waitNs > 0) {
+            return waitNs;
         }
-        for (int i = 0; wait == 0 && i < r.charges.size(); i++) {
-            RuleResult.Charge c = r.charges.get(i);
-            c.limit().take(c.key(), now);
+        for (int i = 0; i < result.charges.size(); i++) {
+            RuleResult.Charge charge = result.charges.get(i);
+            charge.limiter().take(charge.key(), nowNs);
         }
-        return wait;
+        return 0;
     }
 
-    /** Limits of the same name go on where they stood, and so do the tenants' rates. */
-    public void inherit(Rulebook old) {
-        limits.forEach((name, b) -> {
-            if (old.limits.containsKey(name)) {
-                b.inherit(old.limits.get(name));
+    /** Takes over the tenants' rates of earlier rules, and the buckets of their limits of the same name. */
+    void inherit(Rulebook earlier) {
+        limiters.forEach((name, limiter) -> {
+            KeyedRateLimiter earlierLimiter = earlier.limiters.get(name);
+            if (earlierLimiter != null) {
+                limiter.inherit(earlierLimiter);
             }
         });
-        rates.inherit(old.rates);
-    }
-
-    int cls(Object name) {
-        return name instanceof String ? classes.indexOf(name) : -1;
+        rates.inherit(earlier.rates);
     }
 
-    int tenant(Object name) {
-        return name instanceof String ? tenants.indexOf(name) : -1;
-    }
-
-    static boolean destination(long number) {
-        return number >= 0 && number < RequestDispatcher.NO_DESTINATION;
-    }
-
-    void erred(Rule rule, EvaluationError e, long now) {
-        Long last = told.get(rule);
-        if (last != null && now - last < QUIET_NS) {
-            return;
-        }
-        words = now - second > 1_000_000_000L ? 0 : words;
-        second = words == 0 ? now : second;
-        if (words++ < MOST_WORDS) {
-            told.put(rule, now);
-            log.accept(
-                    "rules: rule " + rule.name + " ended in an error: " + e.words() + " (" + rule.errors + " so far)");
+    /** How often each rule matched and ended in an error, and how full the limits are, as one line. */
+    String statistics() {
+        StringBuilder line = new StringBuilder();
+        for (RuleTable table : tables) {
+            for (Rule rule : table.rules()) {
+                line.append(line.isEmpty() ? "" : ", ").append(rule.name);
+                line.append(' ').append(rule.matchCount()).append(" matched ");
+                line.append(rule.errorCount()).append(" errors");
+            }
         }
-    }
-
-    /** What each rule did so far, a line each. */
-    public String counts() {
-        StringBuilder all = new StringBuilder();
-        for (RuleTable t : tables) {
-            t.rules.forEach(r -> all.append(all.isEmpty() ? "" : ", ")
-                    .append(r.name)
-                    .append(' ')
-                    .append(r.matched)
-                    .append(" matched ")
-                    .append(r.errors)
-                    .append(" errors"));
+        for (KeyedRateLimiter limiter : limiters.values()) {
+            line.append(", limit ").append(limiter.name);
+            line.append(' ').append(limiter.keyCount()).append(" keys ");
+            line.append(limiter.sharedBucketUses()).append(" crowded");
         }
-        limits.values()
-                .forEach(b -> all.append(", limit ")
-                        .append(b.name)
-                        .append(' ')
-                        .append(b.size())
-                        .append(" keys ")
-                        .append(b.crowded())
-                        .append(" crowded"));
-        return all.toString();
+        return line.toString();
     }
 }
--- a/src/main/java/elderseam/rules/SampleRequest.java
+++ b/src/main/java/elderseam/rules/SampleRequest.java
@@ -1,10 +1,11 @@
 package elderseam.rules;
 
+import elderseam.core.ActiveRequest;
 import elderseam.core.RequestAttributes;
 import java.nio.charset.StandardCharsets;
+import java.time.DateTimeException;
 import java.time.Instant;
 import java.time.OffsetDateTime;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -12,118 +13,137 @@
 import java.util.TreeMap;
 
 /**
- * A request made up for an example or for {@code rules eval}: its text as on the wire, and how the dispatcher is to stand. A request for
- * {@code /events} is an event in binary mode; any other is one of the platform's, whose path names the class.
+ * A request for an example or for {@code rules eval}, given as its text on the wire, with the state of the dispatcher
+ * and the time at which it arrives. A request for {@code /events} is an event in binary mode; any other is one of the
+ * platform's, whose path names the class. Not thread-safe.
  */
-public final class SampleRequest implements RequestAttributes, RuleEnvironment {
-    /** What a sample's state may tell. */
-    static final String STATE =
-            "rate=NUMBER share=NUMBER breaker=closed|half_open|open in_flight=N wait=SECONDS held=N remaining=SECONDS";
-
-    private final String method, path;
-    private final Map<String, String> headers, attributes = new LinkedHashMap<>(), state = new LinkedHashMap<>();
+public final class SampleRequest implements RequestAttributes {
+    private static final String EVENTS_PATH = "/events";
+    private static final String EVENT_ATTRIBUTE_PREFIX = "ce-";
+    private static final Instant DEFAULT_TIME = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final String method;
+    private final String path;
+    private final Map<String, String> headers;
+    private final Map<String, String> attributes = new LinkedHashMap<>();
     private final byte[] body;
-    private Instant at = Instant.parse("2026-01-01T00:00:00Z");
+    private final SampleEnvironment environment = new SampleEnvironment();
+    private Instant time = DEFAULT_TIME;
 
     private SampleRequest(String method, String path, Map<String, String> headers, byte[] body) {
         this.method = method;
         this.path = path;
         this.headers = headers;
         this.body = body;
-        headers.forEach((name, v) -> {
-            if (name.startsWith("ce-")) {
-                attributes.put(name.substring(3), v);
+        headers.forEach((name, value) -> {
+            if (name.startsWith(EVENT_ATTRIBUTE_PREFIX)) {
+                attributes.put(name.substring(EVENT_ATTRIBUTE_PREFIX.length()), value);
             }
         });
     }
 
-    /** Of a request's first line, its header lines and its body; what is wrong with it is added to the faults. */
-    static SampleRequest of(String first, List<String> headerLines, String body, List<String> faults) {
-        String[] words = first.strip().split(" +");
+    /**
+     * Reads a request's text: lines that end with LF or CRLF, and an empty line before the body.
+     *
+     * @param faults what is wrong with the text is added; the result is then meaningless
+     */
+    public static SampleRequest parse(String text, List<String> faults) {
+        String normalized = text.replace("\r\n", "\n");
+        int headEnd = normalized.indexOf("\n\n");
+        String head = headEnd < 0 ? normalized : normalized.substring(0, headEnd);
+        String body = headEnd < 0 ? "" : normalized.substring(headEnd + 2);
+        if (body.endsWith("\n")) {
+            body = body.substring(0, body.length() - 1);
+        }
+        List<String> lines = List.of(head.strip().split("\n"));
+        return of(lines.get(0), lines.subList(1, lines.size()), body, faults);
+    }
+
+    /** A request of its parts; what is wrong with them is added to the faults. */
+    static SampleRequest of(String requestLine, List<String> headerLines, String body, List<String> faults) {
+        String[] words = requestLine.strip().split(" +");
         if (words.length < 2 || !words[0].matches("[A-Z]+") || !words[1].startsWith("/")) {
-            faults.add("'" + first + "' is no first line of a request, allowed: such as POST /invoice");
+            faults.add("'" + requestLine + "' is no first line of a request, allowed: such as POST /invoice");
             return new SampleRequest("POST", "/", Map.of(), new byte[0]);
         }
+        Map<String, String> headers = parseHeaders(headerLines, faults);
+        return new SampleRequest(words[0], words[1], headers, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Map<String, String> parseHeaders(List<String> lines, List<String> faults) {
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        for (String h : headerLines) {
-            int colon = h.indexOf(':');
+        for (String line : lines) {
+            int colon = line.indexOf(':');
             if (colon < 1) {
-                faults.add("'" + h + "' is no header, allowed: NAME: VALUE");
-            } else {
-                headers.putIfAbsent(
-                        h.substring(0, colon).strip().toLowerCase(Locale.ROOT),
-                        h.substring(colon + 1).strip());
+                faults.add("'" + line + "' is no header, allowed: NAME: VALUE");
+                continue;
             }
+            String name = line.substring(0, colon).strip().toLowerCase(Locale.ROOT);
+            headers.putIfAbsent(name, line.substring(colon + 1).strip());
         }
-        return new SampleRequest(words[0], words[1], headers, body.getBytes(StandardCharsets.UTF_8));
+        return headers;
     }
 
-    /** A request's text, lines ended by LF or CRLF, with an empty line before the body. */
-    public static SampleRequest read(String text, List<String> faults) {
-        String plain = text.replace("\r\n", "\n");
-        int end = plain.indexOf("\n\n");
-        List<String> head = new ArrayList<>(
-                List.of((end < 0 ? plain : plain.substring(0, end)).strip().split("\n")));
-        String body = end < 0 ? "" : plain.substring(end + 2);
-        return of(
-                head.get(0),
-                head.subList(1, head.size()),
-                body.endsWith("\n") ? body.substring(0, body.length() - 1) : body,
-                faults);
-    }
-
-    /** Words such as rate=3.5, apart by spaces. */
-    public void state(String words, List<String> faults) {
-        for (String w : words.isBlank() ? new String[0] : words.strip().split("\\s+")) {
-            if (w.matches(
-                    "(rate|share|wait|remaining)=\\d{1,9}(\\.\\d{1,9})?|(in_flight|held)=\\d{1,9}|breaker=(closed|half_open|open)")) {
-                state.put(w.substring(0, w.indexOf('=')), w.substring(w.indexOf('=') + 1));
-            } else {
-                faults.add("'" + w + "' is no state, allowed: " + STATE);
-            }
-        }
+    /**
+     * Sets the dispatcher's state.
+     *
+     * @param words such as {@code rate=3.5}, separated by white space; what is wrong with them is added to the faults
+     */
+    public void setState(String words, List<String> faults) {
+        environment.set(words, faults);
     }
 
-    /** The time, such as 2026-12-31T08:00:00Z. */
-    public void at(String time, List<String> faults) {
+    /** Sets the time, such as 2026-12-31T08:00:00Z; what is wrong with it is added to the faults. */
+    public void setTime(String text, List<String> faults) {
         try {
-            at = OffsetDateTime.parse(time.strip()).toInstant();
-        } catch (java.time.DateTimeException e) {
-            faults.add("'" + time + "' is no time, allowed: such as 2026-12-31T08:00:00Z");
+            time = OffsetDateTime.parse(text.strip()).toInstant();
+        } catch (DateTimeException e) {
+            faults.add("'" + text + "' is no time, allowed: such as 2026-12-31T08:00:00Z");
         }
     }
 
-    /** What a rulebook makes of it. Limits are not charged. */
-    void decide(Rulebook book, KnownNames names, RuleResult into) {
-        boolean event = front().equals("events");
-        String dest = event ? header("ce-destination") : header("x-addressing").replace("dest=", "");
+    /** Applies rules to the request. Limits are not charged. */
+    void decide(Rulebook rulebook, KnownNames names, RuleResult result) {
+        rulebook.decide(message(names), this, environment, 0, time.toEpochMilli(), result);
+    }
+
+    /** The message that the front end would make of the request, at the instant 0 of the dispatcher's clock. */
+    ActiveRequest.Message message(KnownNames names) {
+        boolean event = isEvent();
         String id = event ? header("ce-source") + header("ce-id") : header("x-txn");
-        book.decide(
+        String className = event ? header("ce-type") : path.substring(1);
+        String tenant = header(event ? "ce-tenant" : "x-org");
+        String destination =
+                event ? header("ce-destination") : header("x-addressing").replace("dest=", "");
+        return new ActiveRequest.Message(
                 id,
-                names.cls(event ? header("ce-type") : path.substring(1)),
-                names.tenant(header(event ? "ce-tenant" : "x-org")),
-                dest.matches("\\d{1,18}") ? Long.parseLong(dest) : 0,
-                (long) (number("remaining", 10) * 1e9),
+                (byte) 0,
+                names.classIndex(className),
+                names.tenantIndex(tenant),
+                destination.matches("\\d{1,18}") ? Long.parseLong(destination) : 0,
+                environment.remainingNs(),
+                0,
                 headers.containsKey("x-resent"),
+                true,
                 header("idempotency-key"),
-                this,
-                this,
-                0,
-                at.toEpochMilli(),
-                into);
+                body);
     }
 
-    private String header(String name) {
-        return headers.getOrDefault(name, "");
+    RuleEnvironment environment() {
+        return environment;
     }
 
-    private double number(String name, double absent) {
-        return Double.parseDouble(state.getOrDefault(name, Double.toString(absent)));
+    private boolean isEvent() {
+        return path.equals(EVENTS_PATH);
+    }
+
+    private String header(String name) {
+        return headers.getOrDefault(name, "");
     }
 
     @Override
     public String front() {
-        return path.equals("/events") ? "events" : "platform";
+        return isEvent() ? "events" : "platform";
     }
 
     @Override
@@ -155,38 +175,4 @@
     public byte[] body() {
         return body;
     }
-
-    @Override
-    public Breaker breaker(long destination) {
-        return switch (state.getOrDefault("breaker", "closed")) { // the words that state() lets pass
-            case "open" -> Breaker.OPEN;
-            case "half_open" -> Breaker.HALF_OPEN;
-            default -> Breaker.CLOSED;
-        };
-    }
-
-    @Override
-    public long waitNs(long destination) {
-        return (long) (number("wait", 0) * 1e9);
-    }
-
-    @Override
-    public int inFlight(long destination) {
-        return (int) number("in_flight", 0);
-    }
-
-    @Override
-    public int held() {
-        return (int) number("held", 0);
-    }
-
-    @Override
-    public double share(int tenant) {
-        return number("share", 0);
-    }
-
-    @Override
-    public double rate(int tenant) { // there is no history
-        return number("rate", 0);
-    }
 }
--- a/src/main/java/elderseam/rules/TenantRates.java
+++ b/src/main/java/elderseam/rules/TenantRates.java
@@ -1,52 +1,62 @@
 package elderseam.rules;
 
 /**
- * How many messages a second each tenant hands in, over a window cut into {@value #PARTS} parts: the rate is that of the last whole
- * window, the present part included, so it may be short by one part. Those of no known tenant count together.
+ * Request rate of each tenant over a sliding window of {@value #SLICES} slices: the sum of the last {@value #SLICES}
+ * slices, the current one included, so that a rate may be too low by one slice. Unknown tenants are counted together.
+ * Times are nanoseconds of the dispatcher's clock; confined to the thread that evaluates rules.
  */
 final class TenantRates {
-    private static final int PARTS = 16;
+    private static final int SLICES = 16;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-    private final long partNs;
-    private final int[][] counts;
-    private final long[] parts; // the part that was counted last, by tenant
+    private final long sliceNs;
+    private final int[][]
+            countsByTenant; // a ring of slices for each tenant; the last tenant stands for all unknown ones
+    private final long[] latestSliceByTenant; // the number of the slice that was last brought up to date
 
-    TenantRates(int tenants, int windowS) {
-        partNs = Math.max(1, windowS * 1_000_000_000L / PARTS);
-        counts = new int[tenants + 1][PARTS];
-        parts = new long[tenants + 1];
+    TenantRates(int tenantCount, int windowSeconds) {
+        sliceNs = Math.max(1, windowSeconds * NANOS_PER_SECOND / SLICES);
+        countsByTenant = new int[tenantCount + 1][SLICES];
+        latestSliceByTenant = new long[tenantCount + 1];
     }
 
-    private int[] at(int tenant, long now) {
-        int i = tenant < 0 || tenant >= counts.length - 1 ? counts.length - 1 : tenant;
-        long part = now / partNs, past = part - parts[i];
-        for (long p = Math.max(parts[i] + 1, part - PARTS + 1); past > 0 && p <= part; p++) {
-            counts[i][(int) (p % PARTS)] = 0;
-        }
-        parts[i] = Math.max(part, parts[i]);
-        return counts[i];
+    /** Counts one request of a tenant. */
+    void count(int tenantIndex, long nowNs) {
+        currentCounts(tenantIndex, nowNs)[(int) (nowNs / sliceNs % SLICES)]++;
     }
 
-    /** One more, at that time in ns. */
-    void arrived(int tenant, long now) {
-        at(tenant, now)[(int) (now / partNs % PARTS)]++;
+    /** Returns the tenant's requests a second over the window. */
+    double perSecond(int tenantIndex, long nowNs) {
+        long total = 0;
+        for (int count : currentCounts(tenantIndex, nowNs)) {
+            total += count;
+        }
+        return total * (double) NANOS_PER_SECOND / (SLICES * sliceNs);
     }
 
-    /** Goes on with what an earlier one counted, where it counted alike. */
-    void inherit(TenantRates old) {
-        if (old.partNs == partNs && old.counts.length == counts.length) {
-            for (int i = 0; i < counts.length; i++) {
-                System.arraycopy(old.counts[i], 0, counts[i], 0, PARTS);
-                parts[i] = old.parts[i];
-            }
+    /** Takes over the counts of earlier rates, if they have the same window and as many tenants. */
+    void inherit(TenantRates earlier) {
+        if (earlier.sliceNs != sliceNs || earlier.countsByTenant.length != countsByTenant.length) {
+            return;
+        }
+        for (int i = 0; i < countsByTenant.length; i++) {
+            System.arraycopy(earlier.countsByTenant[i], 0, countsByTenant[i], 0, SLICES);
+            latestSliceByTenant[i] = earlier.latestSliceByTenant[i];
         }
     }
 
-    double perSecond(int tenant, long now) {
-        long all = 0;
-        for (int n : at(tenant, now)) {
-            all += n;
+    /** The tenant's ring, with the slices zeroed that have begun since it was last used. */
+    private int[] currentCounts(int tenantIndex, long nowNs) {
+        int unknown = countsByTenant.length - 1;
+        int row = tenantIndex < 0 || tenantIndex >= unknown ? unknown : tenantIndex;
+        long current = nowNs / sliceNs;
+        long latest = latestSliceByTenant[row];
+        if (current > latest) {
+            for (long slice = Math.max(latest + 1, current - SLICES + 1); slice <= current; slice++) {
+                countsByTenant[row][(int) (slice % SLICES)] = 0;
+            }
+            latestSliceByTenant[row] = current;
         }
-        return all * 1e9 / (PARTS * partNs);
+        return countsByTenant[row];
     }
 }
--- a/src/main/java/elderseam/rules/package-info.java
+++ b/src/main/java/elderseam/rules/package-info.java
@@ -1,6 +1,12 @@
 /**
- * The operator's rules: files read and checked whole, tables of rules decided request by request, routes, keys and limits. A
- * {@code Rulebook} is what one reading of the files came to; it decides on an {@code Arrival} and does no I/O and reads no clock.
- * Knows the language, the settings' faults and the core's {@code Facts}; fronts, sockets and the journal it does not know.
+ * The operator's rules: loads rules files and applies them to requests, with tables of rules, routes, rate limits and
+ * idempotency keys.
+ *
+ * <p>{@link elderseam.rules.RuleLoader} reads files into a {@link elderseam.rules.Rulebook}, of which {@link
+ * elderseam.rules.RuleEngine} keeps the one in force and those whose keys are still remembered. A rulebook evaluates its
+ * rules on a {@code RuleInput} and writes to a {@code RuleResult}. Evaluation does no I/O, reads no clock, and is
+ * confined to one thread. Examples and {@code rules eval} apply rules to a {@link elderseam.rules.SampleRequest}. The
+ * package depends on the expression language, the settings' files and faults, and the core's {@code RequestAttributes};
+ * it knows neither front ends, sockets nor the journal.
  */
 package elderseam.rules;
--- a/src/test/java/elderseam/rules/JsonFieldExtractorTest.java
+++ b/src/test/java/elderseam/rules/JsonFieldExtractorTest.java
@@ -13,33 +13,37 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class JsonFieldExtractorTest {
-    private static final JsonFieldExtractor BODIES = new JsonFieldExtractor(
-            RuleLimits.USUAL, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
+    private static final EvaluationError FIELD_TOO_LARGE =
+            new EvaluationError("a field above field_chars or list_items");
 
-    private static List<Object> read(String body) {
-        return Arrays.asList(BODIES.read(body.getBytes(StandardCharsets.UTF_8)).clone());
+    /** Extracts a, b.c, b and x.y. */
+    private static final JsonFieldExtractor EXTRACTOR = new JsonFieldExtractor(
+            RuleLimits.DEFAULTS, List.of(List.of("a"), List.of("b", "c"), List.of("b"), List.of("x", "y")));
+
+    private static List<Object> extract(String body) {
+        return Arrays.asList(
+                EXTRACTOR.extract(body.getBytes(StandardCharsets.UTF_8)).clone());
     }
 
-    private static List<Object> all(String words) {
-        EvaluationError e = new EvaluationError(words);
-        return List.of(e, e, e, e);
+    private static List<Object> errorForEachField(String text) {
+        EvaluationError error = new EvaluationError(text);
+        return List.of(error, error, error, error);
     }
 
     @Test
-    void fieldsArePicked() {
-        assertEquals(Arrays.asList(1L, null, null, null), read("{\"a\": 1}"));
+    void fieldsAreExtracted() {
+        assertEquals(Arrays.asList(1L, null, null, null), extract("{\"a\": 1}"));
         assertEquals(
                 Arrays.asList("ä\n", 2.5, Map.of("c", 2.5, "d", List.of(true, NullValue.NULL)), null),
-                read("{\"z\": [[{}]], \"b\": {\"c\": 2.5, \"d\": [true, null]}, \"a\": \"ä\\n\"}"));
+                extract("{\"z\": [[{}]], \"b\": {\"c\": 2.5, \"d\": [true, null]}, \"a\": \"ä\\n\"}"));
         assertEquals(
                 Arrays.asList(NullValue.NULL, null, "text", null),
-                read("{\"a\": null, \"b\": \"text\", \"x\": [{\"y\": 1}]}"));
+                extract("{\"a\": null, \"b\": \"text\", \"x\": [{\"y\": 1}]}"));
         assertEquals(
                 Arrays.asList(9223372036854775807L, null, 0x1p63, 1e3),
-                read("{\"a\": 9223372036854775807, \"b\": 9223372036854775808, \"x\": {\"y\": 1e3}}"));
+                extract("{\"a\": 9223372036854775807, \"b\": 9223372036854775808, \"x\": {\"y\": 1e3}}"));
     }
 
-    /** Behind the bar: what is said of each field. */
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -55,27 +59,32 @@
                 "{\"b\": {\"c\": 1, \"c\": 1}}|a body that tells a name twice in one object",
                 "{\"q\": [{\"r\": 1, \"r\": 2}]}|a body that tells a name twice in one object"
             })
-    void whatCannotBeReadIsAnErrorForEachField(String body, String words) {
-        assertEquals(all(words), read(body));
+    void aFaultyBodyIsAnErrorForEachField(String body, String expectedError) {
+        assertEquals(errorForEachField(expectedError), extract(body));
+    }
+
+    /** No depth overflows the stack, and no length exhausts the memory. */
+    @Test
+    void aBodyAboveItsBoundsIsAnErrorForEachField() {
+        assertEquals(errorForEachField("a body nested above body_depth"), extract("{\"q\": " + "[".repeat(30_000)));
+        assertEquals(
+                errorForEachField("a body nested above body_depth"),
+                extract("{\"a\": " + "[".repeat(17) + "]".repeat(17) + "}"));
+        assertEquals(errorForEachField("a body above body_bytes"), extract("{\"a\": \"" + "x".repeat(70_000) + "\"}"));
     }
 
-    /** No depth runs out of stack, no length out of memory. */
     @Test
-    void boundsHold() {
-        assertEquals(all("a body nested above body_depth"), read("{\"q\": " + "[".repeat(30_000)));
-        assertEquals(all("a body nested above body_depth"), read("{\"a\": " + "[".repeat(17) + "]".repeat(17) + "}"));
-        assertEquals(all("a body above body_bytes"), read("{\"a\": \"" + "x".repeat(70_000) + "\"}"));
-        EvaluationError large = new EvaluationError("a field above field_chars or list_items");
+    void aFieldAboveItsBoundsIsAnErrorForThatField() {
         assertEquals(
-                Arrays.asList(large, 7L, Map.of("c", 7L), null),
-                read("{\"a\": \"" + "x".repeat(1_025) + "\", \"b\": {\"c\": 7}}"));
-        assertEquals(Arrays.asList(large, null, null, null), read("{\"a\": [" + "1,".repeat(40) + "1]}"));
+                Arrays.asList(FIELD_TOO_LARGE, 7L, Map.of("c", 7L), null),
+                extract("{\"a\": \"" + "x".repeat(1_025) + "\", \"b\": {\"c\": 7}}"));
+        assertEquals(Arrays.asList(FIELD_TOO_LARGE, null, null, null), extract("{\"a\": [" + "1,".repeat(40) + "1]}"));
         assertEquals(
-                Arrays.asList(large, null, null, null),
-                read("{\"a\": [" + "[1,2,3],".repeat(9) + "1]}"),
-                "in all, not list by list");
+                Arrays.asList(FIELD_TOO_LARGE, null, null, null),
+                extract("{\"a\": [" + "[1,2,3],".repeat(9) + "1]}"),
+                "items of all lists of a field count together");
         assertEquals(
-                Arrays.asList(1L, large, large, null),
-                read("{\"b\": {\"c\": \"" + "x".repeat(2_000) + "\"}, \"a\": 1}"));
+                Arrays.asList(1L, FIELD_TOO_LARGE, FIELD_TOO_LARGE, null),
+                extract("{\"b\": {\"c\": \"" + "x".repeat(2_000) + "\"}, \"a\": 1}"));
     }
 }
--- a/src/test/java/elderseam/rules/KeyedRateLimiterTest.java
+++ b/src/test/java/elderseam/rules/KeyedRateLimiterTest.java
@@ -1,6 +1,7 @@
 package elderseam.rules;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Random;
@@ -9,95 +10,77 @@
 import org.junit.jupiter.api.Test;
 
 class KeyedRateLimiterTest {
-    private static final long S = 1_000_000_000L;
+    private static final long SECOND_NS = 1_000_000_000L;
 
-    private static boolean takes(KeyedRateLimiter b, String key, long now) {
-        boolean takes = b.waitNs(key, now) == 0;
-        if (takes) {
-            b.take(key, now);
+    private static KeyedRateLimiter limiter(double ratePerSecond, int burst, int maxKeys) {
+        return new KeyedRateLimiter("limit", ratePerSecond, burst, maxKeys);
+    }
+
+    /** Takes a token if the request conforms; returns whether it did. */
+    private static boolean tryTake(KeyedRateLimiter limiter, String key, long nowNs) {
+        boolean conforms = limiter.waitNs(key, nowNs) == 0;
+        if (conforms) {
+            limiter.take(key, nowNs);
         }
-        return takes;
+        return conforms;
     }
 
-    /** In any stretch no more than burst and rate allow, and never fewer than a bucket of that size would let pass. */
     @Property(tries = 200, seed = "9")
-    void asABucketThatLeaks(@ForAll long seed) {
-        Random r = new Random(seed);
-        int burst = 1 + r.nextInt(20);
-        double rate = 1 + r.nextInt(50);
-        KeyedRateLimiter b = new KeyedRateLimiter("l", rate, burst, 10);
-        double level = 0; // the model: a bucket that leaks
-        long now = 0, interval = Math.round(1e9 / rate);
+    void admitsWhatALeakyBucketAdmits(@ForAll long seed) {
+        Random random = new Random(seed);
+        int burst = 1 + random.nextInt(20);
+        double ratePerSecond = 1 + random.nextInt(50);
+        KeyedRateLimiter limiter = limiter(ratePerSecond, burst, 10);
+        long intervalNs = Math.round(1e9 / ratePerSecond);
+        double modelLevelNs = 0;
+        long nowNs = 0;
         for (int i = 0; i < 500; i++) {
-            long passed = (long) (r.nextDouble() * 2 * interval);
-            now += passed;
-            level = Math.max(0, level - passed);
-            boolean fits = level <= interval * (burst - 1.0);
-            assertEquals(fits, takes(b, "k", now), "at " + i);
-            level += fits ? interval : 0;
+            long passedNs = (long) (random.nextDouble() * 2 * intervalNs);
+            nowNs += passedNs;
+            modelLevelNs = Math.max(0, modelLevelNs - passedNs);
+            boolean conforms = modelLevelNs <= intervalNs * (burst - 1.0);
+            assertEquals(conforms, tryTake(limiter, "key", nowNs), "at " + i);
+            modelLevelNs += conforms ? intervalNs : 0;
         }
     }
 
     @Test
-    void itSaysWhenToComeBack() {
-        KeyedRateLimiter b = new KeyedRateLimiter("l", 2, 1, 10);
-        assertTrue(takes(b, "k", 0));
-        assertEquals(S / 2 - 100, b.waitNs("k", 100));
-        assertTrue(takes(b, "k", S / 2));
+    void tellsHowLongToWait() {
+        KeyedRateLimiter limiter = limiter(2, 1, 10);
+        assertTrue(tryTake(limiter, "key", 0));
+        assertEquals(SECOND_NS / 2 - 100, limiter.waitNs("key", 100));
+        assertTrue(tryTake(limiter, "key", SECOND_NS / 2));
     }
 
-    /** A flooder that makes up keys until its own would be let go gains nothing: its own stays, the others share one bucket. */
+    /** A client that invents keys does not get its own bucket evicted, and the invented keys share one bucket. */
     @Test
-    void aFlooderIsNotForgiven() {
-        KeyedRateLimiter b = new KeyedRateLimiter("l", 1, 5, 100);
-        int own = 0, others = 0;
+    void inventedKeysEvictNoBucketThatIsNotFull() {
+        int maxKeys = 100;
+        KeyedRateLimiter limiter = limiter(1, 5, maxKeys);
+        int admittedOwn = 0;
+        int admittedInvented = 0;
         for (int i = 0; i < 20_000; i++) {
-            own += takes(b, "flooder", i * 1_000L) ? 1 : 0;
-            others += takes(b, "made-up-" + i, i * 1_000L) ? 1 : 0;
-        }
-        assertEquals(5, own);
-        assertEquals(99 + 5, others, "one each while there is room, then what one bucket lets pass");
-        assertEquals(100, b.size());
-        assertTrue(b.crowded() == 5 && !takes(b, "new", 30_000_000));
-        assertTrue(takes(b, "new", 100 * S), "full again, and so let go");
-        assertTrue(b.size() <= 100);
-    }
-
-    /** A reload forgives nobody either. */
-    @Test
-    void aReloadGoesOnWhereItStood() {
-        KeyedRateLimiter old = new KeyedRateLimiter("l", 1, 2, 10), fresh = new KeyedRateLimiter("l", 1, 2, 10);
-        takes(old, "k", 0);
-        takes(old, "k", 0);
-        fresh.inherit(old);
-        assertTrue(!takes(fresh, "k", S / 2) && takes(fresh, "k", S) && takes(fresh, "other", S));
-    }
-
-    @Test
-    void ratesAreOfTheLastWindow() {
-        TenantRates r = new TenantRates(2, 16);
-        for (int i = 0; i < 160; i++) {
-            r.arrived(0, i * S / 10);
+            admittedOwn += tryTake(limiter, "flooder", i * 1_000L) ? 1 : 0;
+            admittedInvented += tryTake(limiter, "made-up-" + i, i * 1_000L) ? 1 : 0;
         }
-        assertEquals(10, r.perSecond(0, 159 * S / 10), 0.001);
-        assertEquals(0, r.perSecond(1, 16 * S));
-        assertEquals(5, r.perSecond(0, 23 * S + S / 2), 0.01);
-        assertEquals(0, r.perSecond(0, 1_000 * S));
-        r.arrived(-1, S);
-        assertEquals(1 / 16.0, r.perSecond(99, S), 0.001, "those of no known tenant count together");
+        assertEquals(5, admittedOwn);
+        assertEquals(99 + 5, admittedInvented, "one each while there is room, then what one bucket admits");
+        assertEquals(maxKeys, limiter.keyCount());
+        assertEquals(5, limiter.sharedBucketUses());
+        assertFalse(tryTake(limiter, "new", 30_000_000));
+        assertTrue(tryTake(limiter, "new", 100 * SECOND_NS), "buckets are full again, so one was dropped");
+        assertTrue(limiter.keyCount() <= maxKeys);
     }
 
-    /** Month-end in Windhoek is two hours before that in Greenwich. */
     @Test
-    void theCalendarIsTheZones() {
-        Calendar c = new Calendar(java.time.ZoneId.of("Africa/Windhoek"));
-        long before = java.time.Instant.parse("2026-11-30T21:59:59Z").toEpochMilli(), after = before + 1_000;
-        assertEquals(30, c.part(RuleVariables.DAY, before));
-        assertEquals(0, c.part(RuleVariables.DAYS_LEFT, before));
-        assertEquals(23, c.part(RuleVariables.HOUR, before));
-        assertEquals(1, c.part(RuleVariables.DAY, after));
-        assertEquals(12, c.part(RuleVariables.MONTH, after));
-        assertEquals(30, c.part(RuleVariables.DAYS_LEFT, after));
-        assertEquals(2, c.part(RuleVariables.WEEKDAY, after));
+    void aReloadFillsNoBucket() {
+        KeyedRateLimiter earlier = limiter(1, 2, 10);
+        KeyedRateLimiter fresh = limiter(1, 2, 10);
+        tryTake(earlier, "key", 0);
+        tryTake(earlier, "key", 0);
+        fresh.inherit(earlier);
+        assertFalse(tryTake(fresh, "key", SECOND_NS / 2));
+        assertTrue(tryTake(fresh, "key", SECOND_NS));
+        assertTrue(tryTake(fresh, "other", SECOND_NS));
     }
 }
--- a/src/test/java/elderseam/rules/RuleEngineTest.java
+++ b/src/test/java/elderseam/rules/RuleEngineTest.java
@@ -1,6 +1,7 @@
 package elderseam.rules;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,18 +16,29 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What is made of a message, and whether it may be taken on, without sockets or a journal. */
+/** What rules make of a message, and whether it may be accepted, without sockets or a journal. */
 class RuleEngineTest {
-    private static final long S = 1_000_000_000L;
+    private static final long SECOND_NS = 1_000_000_000L;
+    private static final long MAX_RETRY_AFTER_NS = 3 * SECOND_NS;
+    private static final int MAX_HELD = 100;
 
-    /** How the dispatcher stands, as a test has it. */
-    private static final class State implements RuleEnvironment {
+    /** By index of the class: status-update, job-order, rent-payment. */
+    private static final List<Long> CLASS_DEADLINES_NS = List.of(16 * SECOND_NS, 28 * SECOND_NS, 10 * SECOND_NS);
+
+    /** Destination of each message; a status-update with a deadline of twelve seconds. */
+    private static final long DESTINATION = 5;
+
+    private static final long DEADLINE_NS = 12 * SECOND_NS;
+
+    /** A dispatcher whose state follows from the destination's number, but for what a test sets. */
+    private static final class FakeEnvironment implements RuleEnvironment {
         final Map<Long, Breaker> breakers = new HashMap<>();
-        int held;
+        int requestsHeld;
 
         @Override
         public Breaker breaker(long destination) {
@@ -34,22 +46,22 @@
         }
 
         @Override
-        public long waitNs(long destination) {
-            return destination * S;
+        public long retryAfterNs(long destination) {
+            return destination * SECOND_NS;
         }
 
         @Override
-        public int inFlight(long destination) {
+        public int attemptsInFlight(long destination) {
             return (int) destination;
         }
 
         @Override
-        public int held() {
-            return held;
+        public int requestsHeld() {
+            return requestsHeld;
         }
 
         @Override
-        public double share(int tenant) {
+        public double tenantQuota(int tenantIndex) {
             return 2;
         }
     }
@@ -57,169 +69,255 @@
     @TempDir
     Path folder;
 
-    private final State state = new State();
+    private final FakeEnvironment environment = new FakeEnvironment();
     private final List<String> log = new ArrayList<>();
-    private final RuleEngine decider = new RuleEngine(List.of(16 * S, 28 * S, 10 * S), 3 * S, 100, state, log::add);
+    private final RuleEngine engine =
+            new RuleEngine(CLASS_DEADLINES_NS, MAX_RETRY_AFTER_NS, MAX_HELD, environment, log::add);
 
-    private Rulebook book(String text) throws IOException {
-        return RuleLoader.load(
-                        List.of(Files.writeString(folder.resolve("a.rules"), text)),
-                        RuleLimits.USUAL,
-                        RuleLoaderTest.NAMES)
-                .book();
+    private Rulebook rulebook(String text) throws IOException {
+        Path file = Files.writeString(folder.resolve("a.rules"), text);
+        return RuleLoader.load(List.of(file), RuleLimits.DEFAULTS, RuleLoaderTest.NAMES)
+                .rulebook();
     }
 
-    private static RequestAttributes facts(String body) {
-        return SampleRequest.read("POST /status-update\nX-A: 1\n\n" + body, new ArrayList<>());
+    private void activate(String text) throws IOException {
+        engine.activate(Optional.of(rulebook(text)));
     }
 
-    private static ActiveRequest.Message message(String body, long now) {
+    private static RequestAttributes attributes(String body) {
+        return SampleRequest.parse("POST /status-update\nX-A: 1\n\n" + body, new ArrayList<>());
+    }
+
+    private static ActiveRequest.Message message(String body, long nowNs) {
         return new ActiveRequest.Message(
                 "id",
                 (byte) 0,
                 0,
                 0,
-                5,
-                now + 12 * S,
-                now + 12 * S,
+                DESTINATION,
+                nowNs + DEADLINE_NS,
+                nowNs + DEADLINE_NS,
                 false,
                 true,
                 "",
                 body.getBytes(StandardCharsets.UTF_8));
     }
 
-    private ActiveRequest.Message decided(String body, long now) {
-        return decider.decide(message(body, now), facts(body), now, 0).message();
+    private RuleEngine.Routed decide(ActiveRequest.Message message, String body, long nowNs) {
+        return (RuleEngine.Routed) engine.decide(message, attributes(body), nowNs, 0);
+    }
+
+    private RuleEngine.Routed decide(String body, long nowNs) {
+        return decide(message(body, nowNs), body, nowNs);
+    }
+
+    /** The message as the rules change it. */
+    private ActiveRequest.Message changed(String body, long nowNs) {
+        return decide(body, nowNs).message();
     }
 
     @Test
     void withoutAMatchTheMessageIsTheSame() throws IOException {
-        ActiveRequest.Message m = message("x", 0);
-        assertSame(m, decider.decide(m, facts("x"), 0, 0).message());
-        decider.put(book("[rule a]\nwhen = request.size > 10\nclass = 'job-order'\n"));
-        assertSame(m, decider.decide(m, facts("x"), 0, 0).message());
-        assertEquals(0, decider.admit(0));
+        ActiveRequest.Message message = message("x", 0);
+        assertSame(message, decide(message, "x", 0).message());
+        activate("[rule a]\nwhen = request.size > 10\nclass = 'job-order'\n");
+        assertSame(message, decide(message, "x", 0).message());
+        assertEquals(0, engine.admit(0));
+    }
+
+    @Test
+    void aMessageWithoutClassOrDestinationIsIncompleteUnlessARuleGivesIt() throws IOException {
+        ActiveRequest.Message unplaced = new ActiveRequest.Message(
+                "id", (byte) 0, -1, 0, -1, DEADLINE_NS, DEADLINE_NS, false, true, "", new byte[0]);
+        assertEquals(
+                new RuleEngine.Incomplete("the type is no class of message, and no rule gives one"),
+                engine.decide(unplaced, attributes(""), 0, 0));
+        activate("[rule a]\nclass = 'job-order'\n");
+        assertEquals(
+                new RuleEngine.Incomplete("destination is missing, and no rule gives one"),
+                engine.decide(unplaced, attributes(""), 0, 0));
+        activate("[rule a]\nclass = 'job-order'\ndestination = 3\n");
+        assertEquals(3, decide(unplaced, "", 0).message().destination());
     }
 
-    /** A deadline only shortens, and another class brings its own where that is shorter. */
+    /** A rule only shortens a deadline, and so does another class. */
     @Test
     void deadlinesOnlyShorten() throws IOException {
-        decider.put(
-                book(
-                        "[table t]\nmatch = all\n[rule a]\nwhen = request.size == 1\ndeadline = duration('5s')\n[rule b]\nwhen = request.size == 1\ndeadline = duration('7s')\n"
-                                + "[rule c]\nwhen = request.size == 2\ndeadline = duration('50s')\n[rule d]\nwhen = request.size == 3\nclass = 'rent-payment'\n"));
-        assertEquals(5 * S, decided("1", 0).deadline(), "the shortest of both");
-        assertEquals(12 * S, decided("22", 0).deadline());
-        assertEquals(10 * S, decided("333", 0).deadline());
-        assertEquals(2, decided("333", 0).classIndex());
+        activate("""
+                [table t]
+                match = all
+                [rule a]
+                when = request.size == 1
+                deadline = duration('5s')
+                [rule b]
+                when = request.size == 1
+                deadline = duration('7s')
+                [rule c]
+                when = request.size == 2
+                deadline = duration('50s')
+                [rule d]
+                when = request.size == 3
+                class = 'rent-payment'
+                """);
+        assertEquals(5 * SECOND_NS, changed("1", 0).deadline(), "the shorter of both");
+        assertEquals(DEADLINE_NS, changed("22", 0).deadline());
+        assertEquals(10 * SECOND_NS, changed("333", 0).deadline());
+        assertEquals(2, changed("333", 0).classIndex());
     }
 
-    /** All that matches in a table, each with what the tables before made; rules of one table don't see each other. */
+    /** Each table sees what the tables before it made of the message; rules of one table don't see each other's results. */
     @Test
-    void tablesFollowEachOther() throws IOException {
-        decider.put(
-                book(
-                        "[table t]\nmatch = all\n[rule a]\nclass = 'job-order'\n[rule b]\nwhen = message.class == 'job-order'\ndestination = 1\n"
-                                + "[table u]\n[rule c]\nwhen = message.class == 'job-order'\ndestination = message.destination + 2\n[rule d]\ndestination = 99\n"));
-        assertEquals(7, decided("", 0).destination());
+    void tablesAreAppliedOneAfterAnother() throws IOException {
+        activate("""
+                [table t]
+                match = all
+                [rule a]
+                class = 'job-order'
+                [rule b]
+                when = message.class == 'job-order'
+                destination = 1
+                [table u]
+                [rule c]
+                when = message.class == 'job-order'
+                destination = message.destination + 2
+                [rule d]
+                destination = 99
+                """);
+        assertEquals(DESTINATION + 2, changed("", 0).destination());
     }
 
     @Test
-    void stateIsSeen() throws IOException {
-        decider.put(book(
-                "[rule a]\nwhen = state.rate >= 1.0 && state.share == 2.0 && state.in_flight == 5 && state.wait == duration('5s') && state.breaker == 'open'\n"
-                        + "destination = 1\n"));
-        for (int i = 0; i < 59; i++) {
-            assertEquals(5, decided("", i * S).destination());
+    void rulesSeeTheStateOfTheDispatcher() throws IOException {
+        activate("""
+                [rule a]
+                when = state.rate >= 1.0 && state.share == 2.0 && state.in_flight == 5
+                  && state.wait == duration('5s') && state.breaker == 'open'
+                destination = 1
+                """);
+        for (int second = 0; second < 59; second++) {
+            assertEquals(DESTINATION, changed("", second * SECOND_NS).destination());
         }
-        state.breakers.put(5L, RuleEnvironment.Breaker.OPEN);
-        assertEquals(1, decided("", 59 * S).destination());
+        environment.breakers.put(DESTINATION, RuleEnvironment.Breaker.OPEN);
+        assertEquals(1, changed("", 59 * SECOND_NS).destination());
     }
 
-    /** What is not urgent is refused while much is held: 0 above a tenth, 4 above half; 5 never. */
+    /** Priority 0 is rejected from a tenth of the capacity on, 4 from half of it on, and the default never. */
     @Test
-    void prioritiesGiveWay() throws IOException {
-        decider.put(
-                book(
-                        "[rule a]\nwhen = request.size == 1\npriority = 0\n[rule b]\nwhen = request.size == 2\npriority = 4\n"));
-        long[][] waits = {{0, 0, 0}, {S, 0, 0}, {S, S, 0}};
-        int[] held = {9, 10, 50};
-        for (int i = 0; i < 3; i++) {
-            state.held = held[i];
-            for (int size = 1; size <= 3; size++) {
-                decided("x".repeat(size), 0);
-                assertEquals(waits[i][size - 1], decider.admit(0), held[i] + " held, size " + size);
-            }
+    void lowPrioritiesAreRejectedWhileMuchIsHeld() throws IOException {
+        activate("""
+                [rule a]
+                when = request.size == 1
+                priority = 0
+                [rule b]
+                when = request.size == 2
+                priority = 4
+                """);
+        assertRetryAfter(9, 0, 0, 0);
+        assertRetryAfter(10, SECOND_NS, 0, 0);
+        assertRetryAfter(50, SECOND_NS, SECOND_NS, 0);
+    }
+
+    /** {@code retryAfterNs}: of messages of one, two and three octets. */
+    private void assertRetryAfter(int requestsHeld, long... retryAfterNs) {
+        environment.requestsHeld = requestsHeld;
+        for (int size = 1; size <= retryAfterNs.length; size++) {
+            decide("x".repeat(size), 0);
+            assertEquals(retryAfterNs[size - 1], engine.admit(0), requestsHeld + " held, size " + size);
         }
     }
 
-    /** The time to come back is no longer than the settings allow; a refusal charges no limit, nor does one limit what another refuses. */
+    /** A Retry-After is bounded; a rejection charges no limit, and neither does a limit while another is exhausted. */
     @Test
-    void refusalsAndLimits() throws IOException {
-        decider.put(
-                book(
-                        "[limit few]\nrate_per_s = 0.1\nburst = 1\n[limit many]\nrate_per_s = 1000\nburst = 2\n[table t]\nmatch = all\n"
-                                + "[rule a]\nwhen = request.size == 1\nrefuse = duration('60s')\n[rule b]\nlimit = few\n[rule c]\nlimit = many\n"));
-        decided("1", 0);
-        assertEquals(3 * S, decider.admit(0));
-        decided("22", 0);
-        assertEquals(0, decider.admit(0));
+    void rejectedMessagesChargeNoLimit() throws IOException {
+        activate("""
+                [limit few]
+                rate_per_s = 0.1
+                burst = 1
+                [limit many]
+                rate_per_s = 1000
+                burst = 2
+                [table t]
+                match = all
+                [rule a]
+                when = request.size == 1
+                refuse = duration('60s')
+                [rule b]
+                limit = few
+                [rule c]
+                limit = many
+                """);
+        decide("1", 0);
+        assertEquals(MAX_RETRY_AFTER_NS, engine.admit(0));
+        decide("22", 0);
+        assertEquals(0, engine.admit(0));
         for (int i = 0; i < 5; i++) {
-            decided("22", 0);
-            assertEquals(3 * S, decider.admit(0), "and 'many' is not charged");
+            decide("22", 0);
+            assertEquals(MAX_RETRY_AFTER_NS, engine.admit(0), "and 'many' is not charged");
         }
-        assertTrue(decider.counts().contains("limit many 1 keys"));
+        assertTrue(engine.statistics().contains("limit many 1 keys"));
     }
 
-    /** With a key one that may have run is failed, never refused; its end is kept longer; another scheme's key goes along. */
+    /** With a key, a message that may have run fails instead of being rejected, and its outcome is remembered longer. */
     @Test
-    void keys() throws IOException {
-        Rulebook first = book("[rule a]\nkey = string(body.n)\n");
-        decider.put(first);
-        ActiveRequest.Message m = decided("{\"n\": 1}", 0);
-        assertTrue(m.deduplicationKey().startsWith(first.scheme().name() + ":") && !m.retriesWithinKeyWindow());
-        assertEquals(3_600 * S, m.rememberUntil());
-        assertEquals(m.deduplicationKey(), decided("{\"x\": 2, \"n\": 1}", 5).deduplicationKey());
-        assertNotEquals(m.deduplicationKey(), decided("{\"n\": 2}", 5).deduplicationKey());
-        decider.put(book("[rule a]\nwhen = true\nkey = string(body.n)\n"));
-        RuleEngine.Decided d = decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0);
-        assertEquals(List.of(m.deduplicationKey()), d.also());
-        assertNotEquals(m.deduplicationKey(), d.message().deduplicationKey());
-        decider.put(null);
-        assertEquals(2, decider.remembered());
+    void aMessageWithAKeyIsRememberedAndFails() throws IOException {
+        Rulebook rules = rulebook("[rule a]\nkey = string(body.n)\n");
+        engine.activate(Optional.of(rules));
+        ActiveRequest.Message message = changed("{\"n\": 1}", 0);
+        String schemeName = rules.keyScheme().orElseThrow().name();
+        assertTrue(message.deduplicationKey().startsWith(schemeName + ":"));
+        assertFalse(message.retriesWithinKeyWindow());
+        assertEquals(3_600 * SECOND_NS, message.rememberUntil());
         assertEquals(
-                2,
-                decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0)
-                        .also()
-                        .size());
-        decider.forget(Set.of(first.scheme().name()));
-        assertEquals(
-                List.of(m.deduplicationKey()),
-                decider.decide(message("{\"n\": 1}", 0), facts("{\"n\": 1}"), 0, 0)
-                        .also());
-        decider.put(first);
-        assertEquals(0, decider.remembered(), "back in place");
+                message.deduplicationKey(), changed("{\"x\": 2, \"n\": 1}", 5).deduplicationKey());
+        assertNotEquals(message.deduplicationKey(), changed("{\"n\": 2}", 5).deduplicationKey());
     }
 
-    /** Of errors one word in ten seconds a rule, and five a second in all; a table may refuse instead. */
     @Test
-    void errorsAreToldAtABoundedRate() throws IOException {
+    void keysOfEarlierRulesAreComputedTooWhileTheyAreRemembered() throws IOException {
+        String body = "{\"n\": 1}";
+        Rulebook first = rulebook("[rule a]\nkey = string(body.n)\n");
+        engine.activate(Optional.of(first));
+        String firstKey = changed(body, 0).deduplicationKey();
+
+        activate("[rule a]\nwhen = true\nkey = string(body.n)\n");
+        RuleEngine.Routed underSecondRules = decide(body, 0);
+        assertEquals(List.of(firstKey), underSecondRules.alternateKeys());
+        assertNotEquals(firstKey, underSecondRules.message().deduplicationKey());
+
+        engine.activate(Optional.empty());
+        assertEquals(2, engine.earlierSchemeCount());
+        assertEquals(2, decide(body, 0).alternateKeys().size());
+
+        engine.retainSchemes(Set.of(first.keyScheme().orElseThrow().name()));
+        assertEquals(List.of(firstKey), decide(body, 0).alternateKeys());
+
+        engine.activate(Optional.of(first));
+        assertEquals(0, engine.earlierSchemeCount(), "the first rules are back in force");
+    }
+
+    /** Each rule's errors are logged once in ten seconds, and five lines a second in total. */
+    @Test
+    void errorsAreLoggedAtABoundedRate() throws IOException {
         StringBuilder rules = new StringBuilder();
         for (int i = 0; i < 9; i++) {
             rules.append("[rule r").append(i).append("]\nwhen = body.n > 1\ndestination = 1\n");
         }
-        decider.put(book(rules.toString()));
-        for (int i = 0; i < 1_000; i++) {
-            assertEquals(5, decided("no json", i).destination());
+        activate(rules.toString());
+        for (int nowNs = 0; nowNs < 1_000; nowNs++) {
+            assertEquals(DESTINATION, changed("no json", nowNs).destination());
         }
         assertEquals(5, log.size());
-        decided("no json", 2 * S);
+        decide("no json", 2 * SECOND_NS);
         assertEquals(9, log.size());
-        decided("no json", 11 * S);
+        decide("no json", 11 * SECOND_NS);
         assertEquals(14, log.size());
         assertTrue(log.get(13).contains("(1002 so far)"), log.get(13));
-        decider.put(book("[table t]\non_error = refuse\n[rule a]\nwhen = body.n > 1\ndestination = 1\n"));
-        decided("no json", 0);
-        assertEquals(S, decider.admit(0));
+    }
+
+    @Test
+    void aTableMayRejectAMessageOnAnError() throws IOException {
+        activate("[table t]\non_error = refuse\n[rule a]\nwhen = body.n > 1\ndestination = 1\n");
+        decide("no json", 0);
+        assertEquals(SECOND_NS, engine.admit(0));
     }
 }
--- a/src/test/java/elderseam/rules/RuleLoaderTest.java
+++ b/src/test/java/elderseam/rules/RuleLoaderTest.java
@@ -8,13 +8,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
-/** Each kind of fault, told with its place, and nothing loaded. */
+/** Each kind of fault is reported with its place, and nothing is then loaded. */
 class RuleLoaderTest {
     static final KnownNames NAMES =
             KnownNames.of(List.of("status-update", "job-order", "rent-payment"), List.of("erongo", "khomas"));
@@ -23,19 +24,23 @@
     Path folder;
 
     private RuleLoader.Loaded load(String text) throws IOException {
-        return RuleLoader.load(List.of(Files.writeString(folder.resolve("a.rules"), text)), RuleLimits.USUAL, NAMES);
+        Path file = Files.writeString(folder.resolve("a.rules"), text);
+        return RuleLoader.load(List.of(file), RuleLimits.DEFAULTS, NAMES);
     }
 
     private List<String> faults(String text) {
-        return assertThrows(SettingsFault.class, () -> load(text), text).faults().stream()
-                .map(f -> f.replace(folder + "/", ""))
+        SettingsFault fault = assertThrows(SettingsFault.class, () -> load(text), text);
+        return fault.faults().stream()
+                .map(line -> line.replace(folder + "/", ""))
                 .toList();
     }
 
-    /** Before the bar a file, its lines apart by ~; behind it what one fault of it begins with. */
+    /** {@code file}: its lines joined by ~; {@code expected}: what one of its faults begins with. */
     @ParameterizedTest
-    @ValueSource(
-            strings = {
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
                 "nonsense|a.rules:1: 'nonsense' is no line of such a file",
                 "a = b|a.rules:1: a: before any section",
                 "[rule]|a.rules:1: '[rule]' is no section",
@@ -88,50 +93,54 @@
                 "[rule a]~when = request.headers['x'].matches('(a+)+$') && request.path.matches(request.path)~priority = 1|a.rules:2:71: rule.a.when: a pattern that is not constant",
                 "[rule a]~when = body.a.all(x, body.a.all(y, body.a.all(z, x == y && y == z)))~priority = 1|a.rules:2:43: rule.a.when: may cost"
             })
-    void faultsAreToldWithTheirPlace(String line) {
-        String[] part = line.split("\\|(?=a\\.rules)");
-        List<String> all = faults(part[0].replace("~", "\n"));
+    void faultsAreReportedWithTheirPlace(String file, String expected) {
+        List<String> faults = faults(file.replace("~", "\n"));
         assertTrue(
-                all.stream().anyMatch(f -> f.startsWith(part[1])),
-                () -> part[1] + "\nnot in\n" + String.join("\n", all));
+                faults.stream().anyMatch(fault -> fault.startsWith(expected)),
+                () -> expected + "\nnot in\n" + String.join("\n", faults));
     }
 
-    /** What would overflow a stack or the memory is a fault like any other. */
+    /** What would overflow the stack or exhaust the memory is a fault like any other. */
     @Test
-    void whatIsTooLargeIsAFault() throws IOException {
-        assertTrue(faults("[rule a]\npriority = 1\nwhen = " + "(".repeat(10_000) + "true" + ")".repeat(10_000))
-                .get(0)
-                .contains("rule.a.when: "));
-        assertTrue(faults("[rule a]\npriority = 1\nwhen = " + "!".repeat(10_000) + "true")
-                .get(0)
-                .contains("rule.a.when: "));
-        assertTrue(faults("[rule a]\npriority = 1\nwhen = " + "[".repeat(10_000))
-                .get(0)
-                .contains("rule.a.when: "));
-        assertTrue(faults("[rule a]\npriority = 1\nwhen = true" + " && true".repeat(10_000))
-                .get(0)
-                .contains("rule.a.when: "));
-        assertTrue(faults("#" + "x".repeat(10 << 20)).get(0).contains("more than 1048576 bytes"));
-        StringBuilder many = new StringBuilder();
+    void expressionsThatAreTooLargeAreFaults() {
+        assertConditionIsFaulty("(".repeat(10_000) + "true" + ")".repeat(10_000));
+        assertConditionIsFaulty("!".repeat(10_000) + "true");
+        assertConditionIsFaulty("[".repeat(10_000));
+        assertConditionIsFaulty("true" + " && true".repeat(10_000));
+    }
+
+    private void assertConditionIsFaulty(String condition) {
+        String fault = faults("[rule a]\npriority = 1\nwhen = " + condition).get(0);
+        assertTrue(fault.contains("rule.a.when: "), fault);
+    }
+
+    @Test
+    void filesThatAreTooLargeAreFaults() {
+        String fault = faults("#" + "x".repeat(10 << 20)).get(0);
+        assertTrue(fault.contains("more than 1048576 bytes"), fault);
+    }
+
+    @Test
+    void rulesThatCostTooMuchTogetherAreAFault() {
+        StringBuilder rules = new StringBuilder();
         for (int i = 0; i < 9_000; i++) {
-            many.append("[rule r")
-                    .append(i)
-                    .append("]\npriority = 1\nwhen = request.headers['a'].contains('abcdefgh')\n");
+            rules.append("[rule r").append(i).append("]\npriority = 1\n");
+            rules.append("when = request.headers['a'].contains('abcdefgh')\n");
         }
-        assertTrue(faults(many.toString()).get(0).startsWith("rules: all of them may cost "));
+        String fault = faults(rules.toString()).get(0);
+        assertTrue(fault.startsWith("rules: all of them may cost "), fault);
     }
 
-    /** All faults of a file at once, and of the many no more than can be read. */
     @Test
-    void allFaultsAreTold() {
+    void allFaultsAreReportedUpToABound() {
         assertEquals(3, faults("[rule a]\nwhen = 1\nclass = 2\nkey = 3\n").size());
         assertEquals(200, faults("x\n".repeat(5_000)).size());
     }
 
-    /** Lines that begin with white space go on; quotes, commas and signs of comments are the expression's own. */
+    /** Lines that begin with white space continue a value; quotes, commas and comment signs belong to the expression. */
     @Test
-    void aValueGoesOnInFurtherLines() throws IOException {
-        RuleLoader.Loaded l = load("""
+    void aValueContinuesInFurtherLines() throws IOException {
+        RuleLoader.Loaded loaded = load("""
                 [rule a]
                 when = request.headers['x'] == "#, ;" ||
                   request.size in [1,
@@ -151,23 +160,36 @@
                 body = abc
                 expect_class = status-update
                 """);
-        assertEquals(3, l.examples().size());
+        assertEquals(3, loaded.examples().size());
     }
 
-    /** A key that depends on when it is told is warned of. */
     @Test
-    void aKeyUnderAPassingConditionIsWarnedOf() throws IOException {
+    void aFailingExampleIsAFault() {
         assertEquals(
-                1,
-                load("[rule a]\nwhen = local.day > 27\nkey = message.key\n")
-                        .warnings()
-                        .size());
+                List.of(
+                        "a.rules:5:16: example.e.expect_class: expected rent-payment, got job-order (table rules: rule a matches)",
+                        "a.rules:6:19: example.e.expect_priority: expected 3, got 5 (table rules: rule a matches)"),
+                faults("""
+                        [rule a]
+                        class = 'job-order'
+                        [example e]
+                        request = POST /status-update
+                        expect_class = rent-payment
+                        expect_priority = 3
+                        expect_refuse = none
+                        """));
+    }
+
+    @Test
+    void aKeyWhoseConditionDiffersBetweenDuplicatesCausesAWarning() throws IOException {
+        RuleLoader.Loaded loaded = load("[rule a]\nwhen = local.day > 27\nkey = message.key\n");
+        assertEquals(1, loaded.warnings().size());
     }
 
-    /** A scheme's text read again tells the same keys, and has the same name. */
+    /** A scheme that is read again gives the same keys, and has the same name. */
     @Test
-    void aSchemeCanBeReadAgain() throws IOException {
-        Rulebook book = load("""
+    void aKeySchemeCanBeReadAgain() throws IOException {
+        Rulebook rulebook = load("""
                 [limit l]
                 rate_per_s = 1
                 [route r]
@@ -187,14 +209,17 @@
                 [table u]
                 [rule c]
                 key = message.class + '/' + string(body.a)
-                """).book();
-        Rulebook again = RuleLoader.scheme(book.scheme(), NAMES);
-        assertEquals(book.scheme(), again.scheme());
-        SampleRequest sample = SampleRequest.read("POST /rent-payment\n\n{\"a\": 5}", new java.util.ArrayList<>());
-        RuleResult one = new RuleResult(false), two = new RuleResult(false);
-        sample.decide(book, NAMES, one);
-        sample.decide(again, NAMES, two);
-        assertEquals("", one.key, "refused before the second table");
-        assertEquals("job-order/5", two.key, "a scheme refuses nothing");
+                """).rulebook();
+        Rulebook readAgain = RuleLoader.readScheme(rulebook.keyScheme().orElseThrow(), NAMES);
+        assertEquals(rulebook.keyScheme(), readAgain.keyScheme());
+        SampleRequest request = SampleRequest.parse("POST /rent-payment\n\n{\"a\": 5}", new ArrayList<>());
+        assertEquals("", key(rulebook, request), "rejected before the second table");
+        assertEquals("job-order/5", key(readAgain, request), "a scheme rejects nothing");
+    }
+
+    private static String key(Rulebook rulebook, SampleRequest request) {
+        RuleResult result = RuleResult.untraced();
+        request.decide(rulebook, NAMES, result);
+        return result.key;
     }
 }
--- a/src/test/java/elderseam/rules/RulesFuzzTest.java
+++ b/src/test/java/elderseam/rules/RulesFuzzTest.java
@@ -4,84 +4,85 @@
 import elderseam.core.ActiveRequest;
 import elderseam.rules.cel.EvaluationError;
 import elderseam.rules.cel.Expression;
+import elderseam.rules.cel.ExpressionFault;
 import elderseam.rules.cel.Program;
+import elderseam.rules.cel.Scope;
 import elderseam.rules.cel.Type;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
- * Whatever comes: a fault or a value, within its bound; never an exception, a stall, or another value than the reference's. The seeds
- * beside it are replayed by each build; {@code make fuzz} looks for more.
+ * Any input ends in a fault or a value, within its bound: never in an exception, a stall, or another value than the
+ * reference evaluator's. Each build replays the seeds in this test's resources; {@code make fuzz} searches for more.
  */
 class RulesFuzzTest {
-    private static final RuleLimits SMALL =
-            new RuleLimits(java.time.ZoneOffset.UTC, 4_096, 8, 64, 8, 20_000, 1L << 30, 60, 60);
+    private static final RuleLimits SMALL_LIMITS =
+            new RuleLimits(ZoneOffset.UTC, 4_096, 8, 64, 8, 20_000, 1L << 30, 60, 60);
 
-    /** An expression, a zero octet, and the body that it is evaluated on. */
+    /** The input is an expression, a zero octet, and the body on which it is evaluated. */
     @FuzzTest(maxDuration = "1m")
     void expressions(byte[] data) {
-        String all = new String(data, StandardCharsets.UTF_8);
-        int cut = all.indexOf('\0');
-        elderseam.rules.cel.Scope scope = RuleVariables.scope(SMALL);
-        Expression.Compiled c =
-                Expression.compile(cut < 0 ? all : all.substring(0, cut), scope, Type.Plain.DYN, SMALL.budget());
-        if (c.expression() == null) {
-            c.faults().forEach(f -> f.shown());
+        String text = new String(data, StandardCharsets.UTF_8);
+        int separator = text.indexOf('\0');
+        String expressionText = separator < 0 ? text : text.substring(0, separator);
+        String body = separator < 0 ? "{}" : text.substring(separator + 1);
+        Scope scope = RuleVariables.scope(SMALL_LIMITS);
+        Expression.Compiled compiled =
+                Expression.compile(expressionText, scope, Type.Plain.DYN, SMALL_LIMITS.expressionBudget());
+        Expression expression = compiled.expression();
+        if (expression == null) {
+            compiled.faults().forEach(ExpressionFault::shown);
             return;
         }
-        Program program = c.expression().program();
-        SampleRequest sample = SampleRequest.read(
-                "POST /rent-payment\nX-Org: a\n\n" + (cut < 0 ? "{}" : all.substring(cut + 1)), new ArrayList<>());
-        RuleInput a = new RuleInput(SMALL, scope, List.of("rent-payment"), List.of("a"), new TenantRates(1, 60));
-        a.begin(sample, sample, 0, 0);
-        a.id = "";
-        a.key = "";
-        Object v = program.value(a);
-        if (a.spent() > c.expression().bound()) {
-            throw new AssertionError(c.expression().text() + ": " + a.spent() + " of "
-                    + c.expression().bound());
+        Program program = expression.program();
+        RuleInput input = input(scope, body);
+        Object value = program.value(input);
+        if (input.spent() > expression.bound()) {
+            throw new AssertionError(expression.text() + ": " + input.spent() + " of " + expression.bound());
         }
-        Expression.Outcome o = c.expression().evaluate(name -> a.value(scope.number(name)));
-        if (!v.equals(o.value())
-                && !(v instanceof EvaluationError && o.value() instanceof EvaluationError)
-                && o.value() != v) {
-            throw new AssertionError(c.expression().text() + ": " + v + ", by the reference " + o.value());
+        Object reference =
+                expression.evaluate(name -> input.value(scope.number(name))).value();
+        boolean bothErrors = value instanceof EvaluationError && reference instanceof EvaluationError;
+        if (!value.equals(reference) && !bothErrors && reference != value) {
+            throw new AssertionError(expression.text() + ": " + value + ", by the reference " + reference);
         }
     }
 
+    /** The values for a message of the indexes 0, without ids or deadline. */
+    private static RuleInput input(Scope scope, String body) {
+        KnownNames names = KnownNames.of(List.of("rent-payment"), List.of("a"));
+        RuleInput input = new RuleInput(SMALL_LIMITS, scope, names, new TenantRates(1, 60));
+        SampleRequest request = SampleRequest.parse("POST /rent-payment\nX-Org: a\n\n" + body, new ArrayList<>());
+        ActiveRequest.Message message =
+                new ActiveRequest.Message("", (byte) 0, 0, 0, 0, 0, 0, false, true, "", new byte[0]);
+        input.begin(message, request, request.environment(), 0, 0);
+        return input;
+    }
+
+    /** The input is a body. */
     @FuzzTest(maxDuration = "1m")
     void bodies(byte[] data) {
-        new JsonFieldExtractor(SMALL, List.of(List.of("a"), List.of("a", "b"), List.of("c", "d", "e"))).read(data);
+        List<List<String>> paths = List.of(List.of("a"), List.of("a", "b"), List.of("c", "d", "e"));
+        new JsonFieldExtractor(SMALL_LIMITS, paths).extract(data);
     }
 
+    /** The input is a rules file. */
     @FuzzTest(maxDuration = "1m")
     void files(byte[] data) throws IOException {
         Path file = Files.createTempFile("fuzz", ".rules");
         try {
             Files.write(file, data);
-            RuleLoader.Loaded l = RuleLoader.load(List.of(file), SMALL, RuleLoaderTest.NAMES);
-            RuleResult r = new RuleResult(false);
-            SampleRequest sample = SampleRequest.read("POST /rent-payment\n\n{\"a\": 1}", new ArrayList<>());
-            l.book()
-                    .decide(
-                            new ActiveRequest.Message("m", (byte) 0, 0, 0, 1, 1, 1, false, true, "", new byte[0]),
-                            sample,
-                            sample,
-                            0,
-                            0,
-                            r);
-            if (l.book().scheme() != null
-                    && !RuleLoader.scheme(l.book().scheme(), RuleLoaderTest.NAMES)
-                            .scheme()
-                            .equals(l.book().scheme())) {
-                throw new AssertionError(
-                        "a scheme that reads otherwise: " + l.book().scheme());
-            }
+            Rulebook rulebook = RuleLoader.load(List.of(file), SMALL_LIMITS, RuleLoaderTest.NAMES)
+                    .rulebook();
+            decide(rulebook);
+            checkKeyScheme(rulebook);
         } catch (SettingsFault e) {
             if (e.faults().isEmpty()) {
                 throw new AssertionError("no fault told");
@@ -90,4 +91,21 @@
             Files.delete(file);
         }
     }
+
+    private static void decide(Rulebook rulebook) {
+        SampleRequest request = SampleRequest.parse("POST /rent-payment\n\n{\"a\": 1}", new ArrayList<>());
+        ActiveRequest.Message message =
+                new ActiveRequest.Message("m", (byte) 0, 0, 0, 1, 1, 1, false, true, "", new byte[0]);
+        rulebook.decide(message, request, request.environment(), 0, 0, RuleResult.untraced());
+    }
+
+    private static void checkKeyScheme(Rulebook rulebook) throws IOException {
+        Optional<IdempotencyKeyScheme> scheme = rulebook.keyScheme();
+        if (scheme.isPresent()
+                && !RuleLoader.readScheme(scheme.get(), RuleLoaderTest.NAMES)
+                        .keyScheme()
+                        .equals(scheme)) {
+            throw new AssertionError("a scheme that reads otherwise: " + scheme.get());
+        }
+    }
 }
