--- a/src/main/java/elderseam/rules/IdempotencyKeySchemeText.java
+++ b/src/main/java/elderseam/rules/IdempotencyKeySchemeText.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 
 /**
- * The text of an {@link IdempotencyKeyScheme}: a head with the limits that its expressions depend on, then those parts of
- * all rules that may decide which of them gives a key, and which key. The journal holds such texts: what is written here
- * has to stay as it is.
+ * The text of an {@link IdempotencyKeyScheme}: a head with the limits that its expressions depend on, then those parts
+ * of all rules that may decide which of them gives a key, and which key. The journal holds such texts: what is written
+ * here has to stay as it is.
  */
 final class IdempotencyKeySchemeText {
     /** Kind of the section at the head. */
--- a/src/main/java/elderseam/rules/JsonFieldExtractor.java
+++ b/src/main/java/elderseam/rules/JsonFieldExtractor.java
@@ -17,10 +17,10 @@
 import java.util.Map;
 
 /**
- * Extracts the fields that rules read from a JSON body in one streaming pass; nothing else of the body is kept. The pass
- * always covers the whole body: if that is no JSON object, is nested too deep, or has a name twice in one object (of
- * which RFC 8259, section 4, leaves the meaning open), each field is an error. Whole numbers of 64 bits are longs, all
- * others doubles. Not thread-safe.
+ * Extracts the fields that rules read from a JSON body in one streaming pass; nothing else of the body is kept. The
+ * pass always covers the whole body: if that is no JSON object, is nested too deep, or has a name twice in one object
+ * (of which RFC 8259, section 4, leaves the meaning open), each field is an error. Whole numbers of 64 bits are longs,
+ * all others doubles. Not thread-safe.
  */
 final class JsonFieldExtractor {
     private static final EvaluationError NOT_JSON = new EvaluationError("a body that is no JSON object");
@@ -73,8 +73,8 @@
     }
 
     /**
-     * Returns the values by number of the field: null where the body has no such field, an {@link EvaluationError} where
-     * it can't be read. The array is valid until the next call.
+     * Returns the values by number of the field: null where the body has no such field, an {@link EvaluationError}
+     * where it can't be read. The array is valid until the next call.
      */
     Object[] extract(byte[] body) {
         Arrays.fill(values, null);
--- a/src/main/java/elderseam/rules/LimitReader.java
+++ b/src/main/java/elderseam/rules/LimitReader.java
@@ -3,8 +3,6 @@
 import elderseam.rules.cel.Program;
 import elderseam.rules.cel.Type;
 import elderseam.settings.SectionFile.Section;
-import java.util.LinkedHashMap;
-import java.util.Map;
 
 /** Reads {@code [limit NAME]} sections. */
 final class LimitReader {
@@ -28,18 +26,8 @@
         this.faults = faults;
     }
 
-    /** The limits by name, in their order; what is wrong with them is added to the faults. */
-    Map<String, Limit> read(Iterable<Section> sections) {
-        Map<String, Limit> limits = new LinkedHashMap<>();
-        for (Section section : sections) {
-            if (section.kind().equals("limit")) {
-                limits.put(section.name(), read(section));
-            }
-        }
-        return limits;
-    }
-
-    private Limit read(Section section) {
+    /** Reads one limit; what is wrong with it is added to the faults. */
+    Limit read(Section section) {
         double ratePerSecond = SectionValues.requiredNumber(section, "rate_per_s", RATE_PER_SECOND, faults);
         int burst = SectionValues.number(section, "burst", BURST, DEFAULT_BURST, faults);
         int keys = SectionValues.number(section, "keys", KEYS, DEFAULT_KEYS, faults);
--- a/src/main/java/elderseam/rules/LocalCalendar.java
+++ b/src/main/java/elderseam/rules/LocalCalendar.java
@@ -4,7 +4,7 @@
 import java.time.ZoneId;
 import java.time.ZonedDateTime;
 
-/** Local date and time of day in the rules' zone, computed once a minute. Confined to the thread that evaluates rules. */
+/** Local date and time in the rules' zone, computed once a minute. Confined to the thread that evaluates rules. */
 final class LocalCalendar {
     private static final long MINUTE_MS = 60_000;
 
--- a/src/main/java/elderseam/rules/RouteReader.java
+++ b/src/main/java/elderseam/rules/RouteReader.java
@@ -20,7 +20,6 @@
     private static final Pattern HEADER_NAME = Pattern.compile("[a-z0-9-]*");
     private static final double DEFAULT_WEIGHT = 1;
     private static final String DEFAULT_KEY = "message.id";
-    private static final long MIN_CANARY_STEP_MS = 1_000;
 
     private final RuleExpressions expressions;
     private final RuleFaults faults;
@@ -33,18 +32,8 @@
         this.faults = faults;
     }
 
-    /** The routes by name, in their order; what is wrong with them is added to the faults. */
-    Map<String, KeyedRoute> read(Iterable<Section> sections) {
-        Map<String, KeyedRoute> routes = new LinkedHashMap<>();
-        for (Section section : sections) {
-            if (section.kind().equals("route")) {
-                routes.put(section.name(), read(section));
-            }
-        }
-        return routes;
-    }
-
-    private KeyedRoute read(Section section) {
+    /** Reads one route; what is wrong with it is added to the faults. */
+    KeyedRoute read(Section section) {
         List<Route.Member> members = members(section);
         Map<String, List<Long>> subsets = subsets(section, members);
         String header = header(section);
@@ -58,7 +47,7 @@
 
     private List<Route.Member> members(Section section) {
         List<Route.Member> members = new ArrayList<>();
-        for (String word : section.text("to", "").split("[ \n]+")) {
+        for (String word : section.text("to", "").split(SectionValues.SEPARATOR)) {
             if (MEMBER.matcher(word).matches() && !word.endsWith("*0")) {
                 members.add(member(word));
             } else {
@@ -119,45 +108,60 @@
     /** The canary of a section that has one; null where it is faulty. */
     private Route.Canary canary(Section section) {
         List<Long> destinations = SectionValues.destinations(section, "canary", faults);
-        List<Double> stepsPercent;
-        long startMs;
-        long stepMs;
+        CanarySchedule schedule;
         try {
-            stepsPercent = Arrays.stream(
-                            section.text("canary_steps", "").strip().split("[ \n]+"))
-                    .map(Double::valueOf)
-                    .toList();
-            startMs = OffsetDateTime.parse(section.text("canary_from", ""))
-                    .toInstant()
-                    .toEpochMilli();
-            stepMs = Duration.parse("PT" + section.text("canary_every", "")).toMillis();
+            schedule = CanarySchedule.parse(section);
         } catch (NumberFormatException | DateTimeException e) {
             faults.add(
                     section,
                     "canary",
-                    "lacks its steps or has unusable ones, allowed: canary_steps in percent apart by spaces, canary_from a time "
-                            + "such as 2026-12-01T08:00:00Z, canary_every such as 10M or 1H");
+                    "lacks its steps or has unusable ones, allowed: canary_steps in percent apart by spaces,"
+                            + " canary_from a time such as 2026-12-01T08:00:00Z, canary_every such as 10M or 1H");
             return null;
         }
-        if (!isRising(stepsPercent) || stepMs < MIN_CANARY_STEP_MS || destinations.size() != 1) {
+        if (destinations.size() != 1 || !schedule.isUsable()) {
             faults.add(
                     section,
                     "canary",
-                    "allowed: one destination, canary_steps from 0 to 100 that do not fall, canary_every of a second or more");
+                    "allowed: one destination, canary_steps from 0 to 100 that do not fall,"
+                            + " canary_every of a second or more");
             return null;
         }
-        return new Route.Canary(destinations.get(0), stepsPercent, startMs, stepMs);
+        return new Route.Canary(destinations.get(0), schedule.stepsPercent, schedule.startMs, schedule.stepMs);
     }
 
-    /** Whether these are percentages that never fall. */
-    private static boolean isRising(List<Double> stepsPercent) {
-        double previous = 0;
-        for (double step : stepsPercent) {
-            if (!(step >= previous)) { // false for NaN too
-                return false;
+    /** When a canary has which share, see {@link Route.Canary}. */
+    private record CanarySchedule(List<Double> stepsPercent, long startMs, long stepMs) {
+        private static final long MIN_STEP_MS = 1_000;
+
+        /**
+         * Reads the schedule.
+         *
+         * @throws NumberFormatException if a step is no number
+         * @throws DateTimeException if the start is no time, or the duration none
+         */
+        static CanarySchedule parse(Section section) {
+            String[] steps = section.text("canary_steps", "").strip().split(SectionValues.SEPARATOR);
+            List<Double> stepsPercent =
+                    Arrays.stream(steps).map(Double::valueOf).toList();
+            long startMs = OffsetDateTime.parse(section.text("canary_from", ""))
+                    .toInstant()
+                    .toEpochMilli();
+            long stepMs =
+                    Duration.parse("PT" + section.text("canary_every", "")).toMillis();
+            return new CanarySchedule(stepsPercent, startMs, stepMs);
+        }
+
+        /** Whether the steps are percentages that never fall, and none is too short. */
+        boolean isUsable() {
+            double previous = 0;
+            for (double percent : stepsPercent) {
+                if (!(percent >= previous)) { // which NaN isn't either
+                    return false;
+                }
+                previous = percent;
             }
-            previous = step;
+            return previous <= 100 && stepMs >= MIN_STEP_MS;
         }
-        return previous <= 100;
     }
 }
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -4,7 +4,7 @@
 import elderseam.rules.cel.Program;
 import java.util.List;
 
-/** One rule: a condition, and what it makes of the messages that meet it. Confined to the thread that evaluates rules. */
+/** A condition, and what becomes of the messages that meet it. Confined to the thread that evaluates rules. */
 final class Rule {
     final String name;
     private final Program condition; // null for always
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -22,7 +22,7 @@
     /** Retry-After of a message of low priority while the dispatcher holds much. */
     private static final long LOW_PRIORITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
 
-    /** A message of priority p below the default is rejected while (p + 1) of so many parts of the capacity are held. */
+    /** A message of priority p below the default is rejected while (p + 1) parts of the capacity are held. */
     private static final double PRIORITY_LEVELS = 10.0;
 
     private static final long NANOS_PER_SECOND = 1_000 * Clock.MS;
--- a/src/main/java/elderseam/rules/RuleLimits.java
+++ b/src/main/java/elderseam/rules/RuleLimits.java
@@ -5,8 +5,8 @@
 import java.time.ZoneId;
 
 /**
- * Bounds on what rules read and cost, and the zone of their local time. An input above its bound is an error of the rule
- * that reads it. Costs are in units of about one small evaluation step.
+ * Bounds on what rules read and cost, and the zone of their local time. An input above its bound is an error of the
+ * rule that reads it. Costs are in units of about one small evaluation step.
  *
  * @param zone of {@code local.} variables
  * @param maxBodyBytes largest body of which fields are read
--- a/src/main/java/elderseam/rules/RuleLoader.java
+++ b/src/main/java/elderseam/rules/RuleLoader.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Loads rules files into a {@link Rulebook}: parses, type-checks, bounds and compiles them, completely or not at all.
@@ -75,7 +76,7 @@
     }
 
     /**
-     * Reads the rules of a key scheme again, for their keys alone. Classes and tenants that no longer exist are allowed.
+     * Reads the rules of a key scheme again, for their keys alone. Classes and tenants that are gone are allowed.
      *
      * @throws SettingsFault if the scheme can't be read
      */
@@ -88,8 +89,10 @@
 
     private Loaded build(List<Section> sections, boolean forScheme) throws SettingsFault {
         sections.forEach(section -> SectionKeys.check(section, faults));
-        Map<String, RouteReader.KeyedRoute> routes = new RouteReader(expressions, faults).read(sections);
-        Map<String, LimitReader.Limit> rateLimits = new LimitReader(expressions, faults).read(sections);
+        Map<String, RouteReader.KeyedRoute> routes =
+                readAll(sections, "route", new RouteReader(expressions, faults)::read);
+        Map<String, LimitReader.Limit> rateLimits =
+                readAll(sections, "limit", new LimitReader(expressions, faults)::read);
         RuleReader ruleReader = new RuleReader(names, routes, rateLimits, forScheme, expressions, faults);
         List<RuleTable> tables = tables(sections, ruleReader);
         checkCost();
@@ -105,6 +108,17 @@
         return new Loaded(rulebook, examples, faults.warnings(), expressions.maxRuleCost());
     }
 
+    /** The sections of a kind as read, by name and in their order. */
+    private static <T> Map<String, T> readAll(List<Section> sections, String kind, Function<Section, T> reader) {
+        Map<String, T> byName = new LinkedHashMap<>();
+        for (Section section : sections) {
+            if (section.kind().equals(kind)) {
+                byName.put(section.name(), reader.apply(section));
+            }
+        }
+        return byName;
+    }
+
     /** The tables that have rules, in their order. */
     private List<RuleTable> tables(List<Section> sections, RuleReader ruleReader) {
         List<RuleTable> tables = new ArrayList<>();
--- a/src/main/java/elderseam/rules/RuleReader.java
+++ b/src/main/java/elderseam/rules/RuleReader.java
@@ -21,7 +21,9 @@
     private final RuleExpressions expressions;
     private final RuleFaults faults;
 
-    /** {@code mayYieldNothing}: a rule may have no result, since a key scheme omits those that don't matter for keys. */
+    /**
+     * @param mayYieldNothing whether a rule may have no result: a key scheme omits those that don't matter for keys
+     */
     RuleReader(
             KnownNames names,
             Map<String, RouteReader.KeyedRoute> routes,
--- a/src/main/java/elderseam/rules/RuleVariables.java
+++ b/src/main/java/elderseam/rules/RuleVariables.java
@@ -13,7 +13,7 @@
 
 /**
  * The variables of rules: their names, types and maximum sizes. The constants are the variables' numbers in the {@link
- * Scope}, by which {@link RuleInput} is asked for their values; fields of a body get the numbers from {@link #COUNT} on.
+ * Scope}, by which {@link RuleInput} is asked for their values; fields of a body are numbered from {@link #COUNT} on.
  */
 final class RuleVariables {
     static final int FRONT = 0;
@@ -101,7 +101,7 @@
         declare(scope, DAYS_LEFT, "local.days_left", INT, ValueSize.ONE);
     }
 
-    /** Scopes number their names in the order of declaration; this one must come out as the constant says. */
+    /** Declares a variable. Scopes number them in the order of declaration, which has to be that of the constants. */
     private static void declare(Scope scope, int number, String name, Type type, ValueSize maxSize) {
         scope.name(name, type, maxSize);
         if (scope.number(name) != number) {
@@ -109,7 +109,7 @@
         }
     }
 
-    /** Whether two duplicates of one message may see different values of a variable, so that no key may depend on it. */
+    /** Whether duplicates of a message may see different values of a variable, so that no key may depend on it. */
     static boolean differsBetweenDuplicates(String name) {
         return name.startsWith("state.")
                 || name.startsWith("local.")
--- a/src/main/java/elderseam/rules/SampleEnvironment.java
+++ b/src/main/java/elderseam/rules/SampleEnvironment.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
-/** The state of the dispatcher for a {@link SampleRequest}, the same for every destination and tenant. Not thread-safe. */
+/** The dispatcher's state for a {@link SampleRequest}, the same for every destination and tenant. Not thread-safe. */
 final class SampleEnvironment implements RuleEnvironment {
     private static final String USAGE =
             "rate=NUMBER share=NUMBER breaker=closed|half_open|open in_flight=N wait=SECONDS held=N remaining=SECONDS";
@@ -16,7 +16,7 @@
 
     private final Map<String, String> values = new HashMap<>();
 
-    /** Sets values such as {@code rate=3.5}, separated by white space; what is wrong with them is added to the faults. */
+    /** Sets values such as {@code rate=3.5}, separated by white space; what is wrong is added to the faults. */
     void set(String words, List<String> faults) {
         if (words.isBlank()) {
             return;
--- a/src/test/java/elderseam/rules/RuleEngineTest.java
+++ b/src/test/java/elderseam/rules/RuleEngineTest.java
@@ -165,7 +165,7 @@
         assertEquals(2, changed("333", 0).classIndex());
     }
 
-    /** Each table sees what the tables before it made of the message; rules of one table don't see each other's results. */
+    /** A table sees what the tables before it made of the message; its rules don't see each other's results. */
     @Test
     void tablesAreAppliedOneAfterAnother() throws IOException {
         activate("""
@@ -257,7 +257,7 @@
         assertTrue(engine.statistics().contains("limit many 1 keys"));
     }
 
-    /** With a key, a message that may have run fails instead of being rejected, and its outcome is remembered longer. */
+    /** With a key, a message that may have run fails instead of being rejected; its outcome is remembered longer. */
     @Test
     void aMessageWithAKeyIsRememberedAndFails() throws IOException {
         Rulebook rules = rulebook("[rule a]\nkey = string(body.n)\n");
--- a/src/test/java/elderseam/rules/RuleLoaderTest.java
+++ b/src/test/java/elderseam/rules/RuleLoaderTest.java
@@ -137,7 +137,7 @@
         assertEquals(200, faults("x\n".repeat(5_000)).size());
     }
 
-    /** Lines that begin with white space continue a value; quotes, commas and comment signs belong to the expression. */
+    /** Lines that begin with white space continue a value; quotes, commas and comment signs belong to it. */
     @Test
     void aValueContinuesInFurtherLines() throws IOException {
         RuleLoader.Loaded loaded = load("""
