--- a/src/main/java/elderseam/rules/IdempotencyKeySchemeText.java
+++ b/src/main/java/elderseam/rules/IdempotencyKeySchemeText.java
@@ -30,7 +30,7 @@
 
     /** Writes the scheme of rules. */
     static String of(List<Section> sections, RuleLimits limits) {
-        StringBuilder text = new StringBuilder("[scheme keys]\n");
+        StringBuilder text = new StringBuilder("[" + HEAD_KIND + " keys]\n");
         appendValue(text, "zone", limits.zone().getId());
         appendValue(text, "body_bytes", limits.maxBodyBytes());
         appendValue(text, "body_depth", limits.maxBodyDepth());
--- a/src/main/java/elderseam/rules/RuleLoader.java
+++ b/src/main/java/elderseam/rules/RuleLoader.java
@@ -16,7 +16,7 @@
 
 /**
  * Loads rules files into a {@link Rulebook}: parses, type-checks, bounds and compiles them, completely or not at all.
- * All faults are reported at once, as a {@link SettingsFault}. Thread-safe: each call reads on its own.
+ * All faults are reported at once, as a {@link SettingsFault}. Calls on several threads don't affect one another.
  */
 public final class RuleLoader {
     /** Name of the table of the rules that stand before the first {@code [table]}. */
