--- a/src/main/java/elderseam/rules/SectionValues.java
+++ b/src/main/java/elderseam/rules/SectionValues.java
@@ -11,6 +11,7 @@
 final class SectionValues {
     private static final Pattern NUMBER = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
     private static final Pattern DESTINATION = Pattern.compile("\\d{1,18}");
+
     /** Regular expression of what separates the words of a value, which may go on in further lines. */
     static final String SEPARATOR = "[ \n]+";
 
