--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -1,17 +1,18 @@
 package elderseam.cli;
 
 import elderseam.core.JsonValue;
+import elderseam.rules.ExpressionExplainer;
 import elderseam.rules.KnownNames;
 import elderseam.rules.RuleExample;
 import elderseam.rules.RuleLimits;
 import elderseam.rules.RuleLoader;
 import elderseam.rules.SampleRequest;
+import elderseam.rules.SampleResult;
 import elderseam.settings.SettingsFault;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -38,8 +39,8 @@
             KnownNames names = input.names();
             RuleLoader.Loaded loaded = input.load(names);
             loaded.warnings().forEach(warning -> err().println("warning: " + warning));
-            String unchecked = names.told() ? "" : " (classes and tenants not checked: no --config)";
-            out().println(input.file() + ": no fault, " + loaded.book().rules() + " rules, at most " + loaded.bound()
+            String unchecked = names.checked() ? "" : " (classes and tenants not checked: no --config)";
+            out().println(input.file() + ": no fault, " + loaded.rulebook().ruleCount() + " rules, at most " + loaded.maxCost()
                     + " units a request" + unchecked);
             return ExitCodes.OK;
         }
@@ -59,7 +60,7 @@
         @Override
         public Integer call() throws IOException {
             RuleLimits limits = RuleLimits.of(input.settings());
-            out().println(RuleLoader.explain(expression, limits).stripTrailing());
+            out().println(ExpressionExplainer.explain(expression, limits).stripTrailing());
             return ExitCodes.OK;
         }
     }
@@ -93,13 +94,12 @@
             KnownNames names = input.names();
             RuleLoader.Loaded loaded = input.load(names);
             SampleRequest request = readRequest();
-            List<String> trace = new ArrayList<>();
-            Map<String, String> result = RuleExample.eval(loaded, names, request, trace);
+            SampleResult result = SampleResult.of(loaded.rulebook(), names, request);
             if (json) {
-                out().println(jsonObject(result, trace));
+                out().println(jsonObject(result));
             } else {
-                result.forEach((name, value) -> out().printf("%-12s %s%n", name, value));
-                trace.forEach(line -> out().println("  " + line));
+                result.values().forEach((field, value) -> out().printf("%-12s %s%n", field.label(), value));
+                result.trace().forEach(line -> out().println("  " + line));
             }
             return ExitCodes.OK;
         }
@@ -108,10 +108,10 @@
         private SampleRequest readRequest() throws IOException {
             String text = new String(System.in.readNBytes(MAX_REQUEST_BYTES), StandardCharsets.UTF_8);
             List<String> faults = new ArrayList<>();
-            SampleRequest request = SampleRequest.read(text, faults);
-            request.state(state, faults);
+            SampleRequest request = SampleRequest.parse(text, faults);
+            request.setState(state, faults);
             if (at != null) {
-                request.at(at, faults);
+                request.setTime(at, faults);
             }
             if (!faults.isEmpty()) {
                 throw new SettingsFault(
@@ -120,13 +120,13 @@
             return request;
         }
 
-        private static String jsonObject(Map<String, String> result, List<String> trace) {
+        private static String jsonObject(SampleResult result) {
             StringBuilder object = new StringBuilder("{");
-            result.forEach((name, value) -> object.append(JsonValue.quote(name))
+            result.values().forEach((field, value) -> object.append(JsonValue.quote(field.label()))
                     .append(':')
                     .append(JsonValue.quote(value))
                     .append(','));
-            String why = String.join(",", trace.stream().map(JsonValue::quote).toList());
+            String why = String.join(",", result.trace().stream().map(JsonValue::quote).toList());
             return object + "\"why\":[" + why + "]}";
         }
     }
@@ -144,7 +144,7 @@
             RuleLoader.Loaded loaded = input.load(names);
             int failed = 0;
             for (RuleExample example : loaded.examples()) {
-                List<String> differences = example.run(loaded.book(), names);
+                List<String> differences = example.run(loaded.rulebook(), names);
                 failed += differences.isEmpty() ? 0 : 1;
                 print(example, differences);
             }
