--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -29,7 +29,7 @@
 
     /** Whether it matches; {@code a.error()} tells where that could not be said. */
     boolean matches(RuleInput a) {
-        return when == null || when.truth(a);
+        return when == null || when.boolValue(a);
     }
 
     /** Evaluates every result; what went wrong, or null. */
@@ -44,7 +44,7 @@
             e = a.error() != null ? a.error() : tenantResult < 0 ? new EvaluationError("no such tenant") : null;
         }
         if (e == null && destination != null) {
-            destinationResult = destination.whole(a);
+            destinationResult = destination.intValue(a);
             e = a.error() != null
                     ? a.error()
                     : Rulebook.destination(destinationResult)
--- a/src/main/java/elderseam/rules/RuleInput.java
+++ b/src/main/java/elderseam/rules/RuleInput.java
@@ -97,9 +97,9 @@
             case RuleVariables.REMAINING -> Duration.ofNanos(remainingNs);
             case RuleVariables.WAIT -> Duration.ofNanos(state.waitNs(destination));
             case RuleVariables.NOW -> Instant.ofEpochMilli(wallMs);
-            case RuleVariables.RESENT -> truth(name);
-            case RuleVariables.RATE, RuleVariables.SHARE -> real(name);
-            default -> name >= RuleVariables.NAMES ? field(name) : (Object) whole(name);
+            case RuleVariables.RESENT -> boolValue(name);
+            case RuleVariables.RATE, RuleVariables.SHARE -> doubleValue(name);
+            default -> name >= RuleVariables.NAMES ? field(name) : (Object) intValue(name);
         };
     }
 
@@ -111,7 +111,7 @@
     }
 
     @Override
-    protected long whole(int name) {
+    protected long intValue(int name) {
         return switch (name) {
             case RuleVariables.SIZE -> facts.body().length;
             case RuleVariables.DESTINATION -> destination;
@@ -120,21 +120,21 @@
             default ->
                 name >= RuleVariables.YEAR && name <= RuleVariables.DAYS_LEFT
                         ? calendar.part(name, wallMs)
-                        : super.whole(name);
+                        : super.intValue(name);
         };
     }
 
     @Override
-    protected double real(int name) {
+    protected double doubleValue(int name) {
         if (name == RuleVariables.RATE) {
             double told = state.rate(tenant);
             return told >= 0 ? told : rates.perSecond(tenant, now);
         }
-        return name == RuleVariables.SHARE ? state.share(tenant) : super.real(name);
+        return name == RuleVariables.SHARE ? state.share(tenant) : super.doubleValue(name);
     }
 
     @Override
-    protected boolean truth(int name) {
-        return name == RuleVariables.RESENT ? resent : super.truth(name);
+    protected boolean boolValue(int name) {
+        return name == RuleVariables.RESENT ? resent : super.boolValue(name);
     }
 }
--- a/src/main/java/elderseam/rules/RuleLoader.java
+++ b/src/main/java/elderseam/rules/RuleLoader.java
@@ -102,10 +102,10 @@
         Expression.Compiled c = Expression.compile(text, RuleVariables.scope(extent), Type.Plain.DYN, extent.budget());
         if (c.expression() == null) {
             throw new SettingsFault(
-                    c.faults().stream().map(ExpressionFault::shown).toList());
+                    c.faults().stream().map(ExpressionFault::describe).toList());
         }
         return String.format(java.util.Locale.ROOT, "%-56s %-24s %s%n", "part", "type", "most units")
-                + c.expression().explained() + "gives " + c.expression().type() + ", at most "
+                + c.expression().explain() + "gives " + c.expression().type() + ", at most "
                 + c.expression().bound() + " of " + extent.budget() + " units";
     }
 
@@ -206,9 +206,9 @@
         Expression.Compiled c = Expression.compile(v.text(), scope, gives, extent.budget());
         for (ExpressionFault f : c.faults()) {
             int line = v.line() + f.line() - 1, column = f.line() == 1 ? v.column() + f.column() - 1 : f.column();
-            String[] shown = f.shown().split("\n", 2);
+            String[] shown = f.describe().split("\n", 2);
             faults.add(s.file() + ":" + line + ":" + column + ": " + s.kind() + "." + s.name() + "." + key + ": "
-                    + f.words() + (shown.length > 1 ? "\n" + shown[1] : ""));
+                    + f.message() + (shown.length > 1 ? "\n" + shown[1] : ""));
         }
         if (c.expression() == null) {
             return null;
--- a/src/main/java/elderseam/rules/RuleTable.java
+++ b/src/main/java/elderseam/rules/RuleTable.java
@@ -33,7 +33,7 @@
             }
             if (e != null) {
                 rule.errors++;
-                trace(r, rule, ": error: " + e.words() + (refuses ? ", refused" : ", as if it did not match"));
+                trace(r, rule, ": error: " + e.message() + (refuses ? ", refused" : ", as if it did not match"));
                 book.erred(rule, e, a.now());
                 if (refuses) {
                     r.refuseNs = REFUSED_NS;
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -162,8 +162,8 @@
         second = words == 0 ? now : second;
         if (words++ < MOST_WORDS) {
             told.put(rule, now);
-            log.accept(
-                    "rules: rule " + rule.name + " ended in an error: " + e.words() + " (" + rule.errors + " so far)");
+            log.accept("rules: rule " + rule.name + " ended in an error: " + e.message() + " (" + rule.errors
+                    + " so far)");
         }
     }
 
--- a/src/main/java/elderseam/rules/cel/Arithmetic.java
+++ b/src/main/java/elderseam/rules/cel/Arithmetic.java
@@ -1,98 +1,140 @@
 package elderseam.rules.cel;
 
+import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
 
-/** {@code + - * / %}: whole numbers overflow into errors, never around. */
+/** The operators {@code + - * / %} on boxed values. Integers that overflow are errors; they never wrap around. */
 final class Arithmetic {
     private Arithmetic() {}
 
-    static Object of(String f, Object x, Object y) {
-        char sign = f.charAt(0);
+    /** The result of a binary operator, or an error. */
+    static Object apply(String operator, Object left, Object right) {
+        char symbol = operator.charAt(0);
         try {
-            if (x instanceof Long a && y instanceof Long b) {
-                return ints(sign, a, b);
+            if (left instanceof Long first && right instanceof Long second) {
+                return ints(symbol, first, second);
             }
-            if (x instanceof UnsignedLong a && y instanceof UnsignedLong b) {
-                return uints(sign, a.bits(), b.bits());
+            if (left instanceof UnsignedLong first && right instanceof UnsignedLong second) {
+                return uints(symbol, first.bits(), second.bits());
             }
-            if (x instanceof Double a && y instanceof Double b) {
-                return switch (sign) {
-                    case '+' -> a + b;
-                    case '-' -> a - b;
-                    case '*' -> a * b;
-                    case '/' -> a / b;
-                    default -> EvaluationError.NO_OVERLOAD;
-                };
+            if (left instanceof Double first && right instanceof Double second) {
+                return doubles(symbol, first, second);
             }
-            return sign == '+' ? plus(x, y) : sign == '-' ? minus(x, y) : EvaluationError.NO_OVERLOAD;
-        } catch (ArithmeticException | java.time.DateTimeException e) {
+            return switch (symbol) {
+                case '+' -> add(left, right);
+                case '-' -> subtract(left, right);
+                default -> EvaluationError.NO_SUCH_OVERLOAD;
+            };
+        } catch (ArithmeticException | DateTimeException e) {
             return EvaluationError.OVERFLOW;
         }
     }
 
-    private static Object ints(char sign, long a, long b) {
-        if ((sign == '/' || sign == '%') && b == 0) {
-            return EvaluationError.BY_ZERO;
+    /** The negative of an int or a double, or an error. */
+    static Object negate(Object value) {
+        if (value instanceof Long number) {
+            return number == Long.MIN_VALUE ? EvaluationError.OVERFLOW : (Object) (-number);
         }
-        return switch (sign) {
-            case '+' -> Math.addExact(a, b);
-            case '-' -> Math.subtractExact(a, b);
-            case '*' -> Math.multiplyExact(a, b);
-            default ->
-                a == Long.MIN_VALUE && b == -1
-                        ? EvaluationError.OVERFLOW
-                        : sign == '/' ? (Object) (a / b) : (Object) (a % b);
+        return value instanceof Double number ? (Object) (-number) : EvaluationError.NO_SUCH_OVERLOAD;
+    }
+
+    private static boolean isDivision(char symbol) {
+        return symbol == '/' || symbol == '%';
+    }
+
+    private static Object ints(char symbol, long left, long right) {
+        if (isDivision(symbol)) {
+            if (right == 0) {
+                return EvaluationError.DIVISION_BY_ZERO;
+            }
+            if (left == Long.MIN_VALUE && right == -1) {
+                return EvaluationError.OVERFLOW;
+            }
+        }
+        return switch (symbol) {
+            case '+' -> Math.addExact(left, right);
+            case '-' -> Math.subtractExact(left, right);
+            case '*' -> Math.multiplyExact(left, right);
+            case '/' -> left / right;
+            default -> left % right;
         };
     }
 
-    private static Object uints(char sign, long a, long b) {
-        if ((sign == '/' || sign == '%') && b == 0) {
-            return EvaluationError.BY_ZERO;
+    private static Object uints(char symbol, long left, long right) {
+        if (isDivision(symbol) && right == 0) {
+            return EvaluationError.DIVISION_BY_ZERO;
+        }
+        switch (symbol) {
+            case '+' -> {
+                boolean overflows = Long.compareUnsigned(left + right, left) < 0;
+                return overflows ? EvaluationError.OVERFLOW : new UnsignedLong(left + right);
+            }
+            case '-' -> {
+                boolean overflows = Long.compareUnsigned(left, right) < 0;
+                return overflows ? EvaluationError.OVERFLOW : new UnsignedLong(left - right);
+            }
+            case '*' -> {
+                boolean overflows = left != 0 && Long.divideUnsigned(left * right, left) != right;
+                return overflows ? EvaluationError.OVERFLOW : new UnsignedLong(left * right);
+            }
+            case '/' -> {
+                return new UnsignedLong(Long.divideUnsigned(left, right));
+            }
+            default -> {
+                return new UnsignedLong(Long.remainderUnsigned(left, right));
+            }
         }
-        return switch (sign) {
-            case '+' -> Long.compareUnsigned(a + b, a) < 0 ? EvaluationError.OVERFLOW : new UnsignedLong(a + b);
-            case '-' -> Long.compareUnsigned(a, b) < 0 ? EvaluationError.OVERFLOW : new UnsignedLong(a - b);
-            case '*' ->
-                a != 0 && Long.divideUnsigned(a * b, a) != b ? EvaluationError.OVERFLOW : new UnsignedLong(a * b);
-            case '/' -> new UnsignedLong(Long.divideUnsigned(a, b));
-            default -> new UnsignedLong(Long.remainderUnsigned(a, b));
+    }
+
+    private static Object doubles(char symbol, double left, double right) {
+        return switch (symbol) {
+            case '+' -> left + right;
+            case '-' -> left - right;
+            case '*' -> left * right;
+            case '/' -> left / right;
+            default -> EvaluationError.NO_SUCH_OVERLOAD;
         };
     }
 
-    private static Object plus(Object x, Object y) {
-        if (x instanceof String a && y instanceof String b) {
-            return a.concat(b);
+    private static Object add(Object left, Object right) {
+        if (left instanceof String first && right instanceof String second) {
+            return first.concat(second);
+        }
+        if (left instanceof List<?> first && right instanceof List<?> second) {
+            return CollectionFunctions.concatenate(first, second);
         }
-        if (x instanceof List<?> a && y instanceof List<?> b) {
-            return Functions.joined(a, b);
+        if (left instanceof ByteSequence first && right instanceof ByteSequence second) {
+            return concatenate(first.octets, second.octets);
         }
-        if (x instanceof ByteSequence a && y instanceof ByteSequence b) {
-            byte[] all = Arrays.copyOf(a.octets, a.octets.length + b.octets.length);
-            System.arraycopy(b.octets, 0, all, a.octets.length, b.octets.length);
-            return new ByteSequence(all);
+        if (left instanceof Instant timestamp && right instanceof Duration duration) {
+            return TimeFunctions.checkRange(timestamp.plus(duration));
         }
-        if ((x instanceof Instant && y instanceof Duration) || (y instanceof Instant && x instanceof Duration)) {
-            return x instanceof Instant t
-                    ? Functions.inRange(t.plus((Duration) y))
-                    : Functions.inRange(((Instant) y).plus((Duration) x));
+        if (left instanceof Duration duration && right instanceof Instant timestamp) {
+            return TimeFunctions.checkRange(timestamp.plus(duration));
         }
-        return x instanceof Duration a && y instanceof Duration b
-                ? Functions.inRange(a.plus(b))
-                : EvaluationError.NO_OVERLOAD;
+        return left instanceof Duration first && right instanceof Duration second
+                ? TimeFunctions.checkRange(first.plus(second))
+                : EvaluationError.NO_SUCH_OVERLOAD;
+    }
+
+    private static ByteSequence concatenate(byte[] first, byte[] second) {
+        byte[] octets = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, octets, first.length, second.length);
+        return new ByteSequence(octets);
     }
 
-    private static Object minus(Object x, Object y) {
-        if (x instanceof Instant a && y instanceof Instant b) {
-            return Functions.inRange(Duration.between(b, a));
+    private static Object subtract(Object left, Object right) {
+        if (left instanceof Instant end && right instanceof Instant start) {
+            return TimeFunctions.checkRange(Duration.between(start, end));
         }
-        if (x instanceof Instant a && y instanceof Duration b) {
-            return Functions.inRange(a.minus(b));
+        if (left instanceof Instant timestamp && right instanceof Duration duration) {
+            return TimeFunctions.checkRange(timestamp.minus(duration));
         }
-        return x instanceof Duration a && y instanceof Duration b
-                ? Functions.inRange(a.minus(b))
-                : EvaluationError.NO_OVERLOAD;
+        return left instanceof Duration first && right instanceof Duration second
+                ? TimeFunctions.checkRange(first.minus(second))
+                : EvaluationError.NO_SUCH_OVERLOAD;
     }
 }
--- a/src/main/java/elderseam/rules/cel/Checker.java
+++ b/src/main/java/elderseam/rules/cel/Checker.java
@@ -9,20 +9,23 @@
 import static elderseam.rules.cel.Type.Plain.STRING;
 import static elderseam.rules.cel.Type.Plain.UINT;
 
-import java.time.DateTimeException;
-import java.time.ZoneId;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.PatternSyntaxException;
+import java.util.Set;
 
-/** Gives each node its type, and tells every fault there is: a node with a fault counts as DYN, so that it is told once. */
+/**
+ * The type checker: gives each node of a resolved tree its type, and collects all faults. A node with a fault counts as {@code DYN}, so
+ * that the fault isn't reported again for the nodes around it.
+ */
 final class Checker {
+    private static final List<Type> KEY_TYPES = List.of(BOOL, INT, UINT, STRING, DYN);
+
     private final String text;
     private final Scope scope;
-    private final Map<String, Type> variables = new HashMap<>(); // of macros
+    private final VariableBindings<Type> variables = new VariableBindings<>();
     private final IdentityHashMap<Ast, Type> types = new IdentityHashMap<>();
     private final List<ExpressionFault> faults = new ArrayList<>();
 
@@ -31,239 +34,263 @@
         this.scope = scope;
     }
 
-    /** The type of each node. */
-    static Map<Ast, Type> check(String text, Ast tree, Scope scope, Type asked) throws ExpressionException {
-        Checker c = new Checker(text, scope);
-        Type t = c.type(tree);
-        if (!Type.fits(t, asked)) {
-            c.fault(tree, "gives " + t + " where " + asked + " is expected");
-        }
-        if (!c.faults.isEmpty()) {
-            throw new ExpressionException(List.copyOf(c.faults));
+    /** The type of each node, by identity. Throws with all faults; one is that the expression doesn't give the expected type. */
+    static Map<Ast, Type> check(String text, Ast tree, Scope scope, Type expected) throws ExpressionException {
+        Checker checker = new Checker(text, scope);
+        Type type = checker.type(tree);
+        checker.checkGives(tree, type, expected);
+        if (!checker.faults.isEmpty()) {
+            throw new ExpressionException(List.copyOf(checker.faults));
         }
-        return c.types;
+        return checker.types;
     }
 
-    private Type fault(Ast at, String words) {
-        faults.add(ExpressionFault.at(text, at.at(), words));
+    /** Records a fault. Returns the type that its node counts as. */
+    private Type fault(Ast node, String message) {
+        faults.add(ExpressionFault.at(text, node.position(), message));
         return DYN;
     }
 
-    private Type type(Ast a) {
-        Type t = a instanceof Ast.Literal x
-                ? literal(x.value())
-                : a instanceof Ast.Name x
-                        ? name(x)
-                        : a instanceof Ast.Select x
-                                ? select(x)
-                                : a instanceof Ast.Present x
-                                        ? present(x)
-                                        : a instanceof Ast.Call x
-                                                ? call(x)
-                                                : a instanceof Ast.ListOf x
-                                                        ? new Type.ListType(Type.common(x.items().stream()
-                                                                .map(this::type)
-                                                                .toList()))
-                                                        : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
-        types.put(a, t);
-        return t;
+    private boolean checkGives(Ast node, Type type, Type expected) {
+        boolean isCompatible = Type.areCompatible(type, expected);
+        if (!isCompatible) {
+            fault(node, "gives " + type + " where " + expected + " is expected");
+        }
+        return isCompatible;
     }
 
-    private static Type literal(Object v) {
-        return v instanceof Boolean
-                ? BOOL
-                : v instanceof Long
-                        ? INT
-                        : v instanceof UnsignedLong
-                                ? UINT
-                                : v instanceof Double
-                                        ? DOUBLE
-                                        : v instanceof String ? STRING : v instanceof ByteSequence ? BYTES : NULL;
+    private Type type(Ast node) {
+        Type type = typeOf(node);
+        types.put(node, type);
+        return type;
+    }
+
+    private List<Type> types(List<Ast> nodes) {
+        List<Type> all = new ArrayList<>(nodes.size());
+        for (Ast node : nodes) {
+            all.add(type(node));
+        }
+        return all;
+    }
+
+    private Type typeOf(Ast node) {
+        if (node instanceof Ast.Literal literal) {
+            return literal(literal.value());
+        }
+        if (node instanceof Ast.Identifier identifier) {
+            return identifier(identifier);
+        }
+        if (node instanceof Ast.Select select) {
+            return select(select);
+        }
+        if (node instanceof Ast.PresenceTest test) {
+            type(test.field());
+            return BOOL;
+        }
+        if (node instanceof Ast.Call call) {
+            return call(call);
+        }
+        if (node instanceof Ast.CreateList list) {
+            return new Type.ListType(Type.join(types(list.items())));
+        }
+        return node instanceof Ast.CreateMap map ? map(map) : comprehension((Ast.Comprehension) node);
     }
 
-    private Type name(Ast.Name x) {
-        Type t = variables.get(x.name());
-        if (t != null) {
-            return t;
-        }
-        Scope.Declared d = scope.get(x.name());
-        return d == null && scope.open(x.name())
-                ? fault(x, "all of '" + x.name() + "', expected a field of it, such as " + x.name() + ".a")
-                : d == null
-                        ? fault(
-                                x,
-                                "no such name '" + x.name() + "', known: "
-                                        + String.join(", ", scope.all().keySet()))
-                        : d.type();
+    private static Type literal(Object value) {
+        if (value instanceof Boolean) {
+            return BOOL;
+        }
+        if (value instanceof Long) {
+            return INT;
+        }
+        if (value instanceof UnsignedLong) {
+            return UINT;
+        }
+        if (value instanceof Double) {
+            return DOUBLE;
+        }
+        if (value instanceof String) {
+            return STRING;
+        }
+        return value instanceof ByteSequence ? BYTES : NULL;
     }
 
-    private Type select(Ast.Select x) {
-        Type of = type(x.of());
-        if (of instanceof Type.MapType m && Type.fits(STRING, m.key())) {
-            return x.has() ? BOOL : m.value();
-        }
-        return of == DYN
-                ? x.has() ? BOOL : DYN
-                : fault(x, "." + x.field() + " of " + of + ", expected a map with string keys");
+    private Type identifier(Ast.Identifier identifier) {
+        String name = identifier.name();
+        Type variable = variables.get(name);
+        if (variable != null) {
+            return variable;
+        }
+        Scope.Declaration declaration = scope.get(name);
+        if (declaration != null) {
+            return declaration.type();
+        }
+        if (scope.isOpen(name)) {
+            return fault(identifier, "all of '" + name + "', expected a field of it, such as " + name + ".a");
+        }
+        String known = String.join(", ", scope.all().keySet());
+        return fault(identifier, "no such name '" + name + "', known: " + known);
     }
 
-    private Type present(Ast.Present x) {
-        type(x.name());
-        return BOOL;
+    private Type select(Ast.Select select) {
+        Type operand = type(select.operand());
+        if (operand instanceof Type.MapType map && Type.areCompatible(STRING, map.key())) {
+            return select.testOnly() ? BOOL : map.value();
+        }
+        if (operand == DYN) {
+            return select.testOnly() ? BOOL : DYN;
+        }
+        return fault(select, "." + select.field() + " of " + operand + ", expected a map with string keys");
     }
 
-    private Type map(Ast.MapOf x) {
-        List<Type> keys = x.keys().stream().map(this::type).toList();
+    private Type map(Ast.CreateMap map) {
+        List<Type> keys = types(map.keys());
         for (int i = 0; i < keys.size(); i++) {
-            if (!List.of(BOOL, INT, UINT, STRING, DYN).contains(keys.get(i))) {
-                fault(x.keys().get(i), "a key of " + keys.get(i) + ", expected bool, int, uint or string");
+            if (!KEY_TYPES.contains(keys.get(i))) {
+                fault(map.keys().get(i), "a key of " + keys.get(i) + ", expected bool, int, uint or string");
             }
         }
-        return new Type.MapType(
-                Type.common(keys),
-                Type.common(x.values().stream().map(this::type).toList()));
+        return new Type.MapType(Type.join(keys), Type.join(types(map.values())));
     }
 
-    private Type each(Ast.Each x) {
-        Type range = type(x.range());
-        Type item = range instanceof Type.ListType l
-                ? l.item()
-                : range instanceof Type.MapType m
-                        ? m.key()
-                        : range == DYN ? DYN : fault(x, x.macro() + " over " + range + ", expected a list or a map");
-        Type hidden = variables.put(x.variable(), item);
-        Type filter = x.filter() == null ? BOOL : type(x.filter()), body = type(x.body());
-        if (hidden == null) {
-            variables.remove(x.variable());
-        } else {
-            variables.put(x.variable(), hidden);
-        }
-        boolean maps = x.macro().equals("map");
-        if (!Type.fits(filter, BOOL) || (!maps && !Type.fits(body, BOOL))) {
-            return fault(
-                    !Type.fits(filter, BOOL) ? x.filter() : x.body(),
-                    "gives " + (Type.fits(filter, BOOL) ? body : filter) + " where bool is expected");
+    private Type comprehension(Ast.Comprehension comprehension) {
+        Type item = rangeItem(comprehension);
+        Type hidden = variables.bind(comprehension.variable(), item);
+        Type filter = comprehension.filter() == null ? BOOL : type(comprehension.filter());
+        Type body = type(comprehension.body());
+        variables.unbind(comprehension.variable(), hidden);
+        Macro macro = comprehension.macro();
+        if (!checkGives(comprehension.filter(), filter, BOOL)) {
+            return DYN;
+        }
+        if (macro != Macro.MAP && !checkGives(comprehension.body(), body, BOOL)) {
+            return DYN;
+        }
+        if (macro == Macro.MAP) {
+            return new Type.ListType(body);
         }
-        return maps ? new Type.ListType(body) : x.macro().equals("filter") ? new Type.ListType(item) : BOOL;
+        return macro == Macro.FILTER ? new Type.ListType(item) : BOOL;
     }
 
-    private Type call(Ast.Call x) {
-        List<Type> args = x.args().stream().map(this::type).toList();
-        switch (x.function()) {
-            case "?:" -> {
-                return !Type.fits(args.get(0), BOOL)
-                        ? fault(x.args().get(0), "gives " + args.get(0) + " where bool is expected")
-                        : Type.fits(args.get(1), args.get(2))
-                                ? Type.common(args.subList(1, 3))
-                                : fault(x, "gives " + args.get(1) + " or " + args.get(2) + ", expected one type");
-            }
-            case "==", "!=" -> {
-                return Type.fits(args.get(0), args.get(1)) || args.contains(NULL)
-                        ? BOOL
-                        : fault(x, x.function() + " of " + args.get(0) + " and " + args.get(1) + ", expected one type");
-            }
-            case "in" -> {
-                return in(x, args);
-            }
-            case "[]" -> {
-                return index(x, args);
-            }
-            default -> {
-                return overload(x, args);
-            }
+    /** The type of what a comprehension's variable stands for: the items of a list, the keys of a map. */
+    private Type rangeItem(Ast.Comprehension comprehension) {
+        Type range = type(comprehension.range());
+        if (range instanceof Type.ListType list) {
+            return list.item();
+        }
+        if (range instanceof Type.MapType map) {
+            return map.key();
+        }
+        return range == DYN
+                ? DYN
+                : fault(comprehension, comprehension.macro() + " over " + range + ", expected a list or a map");
+    }
+
+    // ---------------------------------------------------------------- calls
+
+    private Type call(Ast.Call call) {
+        List<Type> arguments = types(call.arguments());
+        return switch (call.function()) {
+            case Operators.CONDITIONAL -> conditional(call, arguments);
+            case Operators.EQUALS, Operators.NOT_EQUALS -> equality(call, arguments);
+            case Operators.IN -> in(call, arguments);
+            case Operators.INDEX -> index(call, arguments);
+            case Operators.ADD -> addition(call, arguments);
+            default -> overload(call, arguments);
+        };
+    }
+
+    private Type conditional(Ast.Call call, List<Type> arguments) {
+        if (!checkGives(call.argument(0), arguments.get(0), BOOL)) {
+            return DYN;
         }
+        Type whenTrue = arguments.get(1);
+        Type whenFalse = arguments.get(2);
+        return Type.areCompatible(whenTrue, whenFalse)
+                ? Type.join(arguments.subList(1, 3))
+                : fault(call, "gives " + whenTrue + " or " + whenFalse + ", expected one type");
     }
 
-    private Type in(Ast.Call x, List<Type> args) {
-        Type of = args.get(1);
-        boolean fits = of == DYN
-                || (of instanceof Type.ListType l && Type.fits(args.get(0), l.item()))
-                || (of instanceof Type.MapType m && Type.fits(args.get(0), m.key()));
-        return fits ? BOOL : fault(x, args.get(0) + " in " + of + ", expected a list or a map of such");
+    private Type equality(Ast.Call call, List<Type> arguments) {
+        Type left = arguments.get(0);
+        Type right = arguments.get(1);
+        return Type.areCompatible(left, right) || arguments.contains(NULL)
+                ? BOOL
+                : fault(call, call.function() + " of " + left + " and " + right + ", expected one type");
     }
 
-    private Type index(Ast.Call x, List<Type> args) {
-        if (args.get(0) instanceof Type.ListType l && Type.fits(args.get(1), INT)) {
-            return l.item();
+    private Type in(Ast.Call call, List<Type> arguments) {
+        Type item = arguments.get(0);
+        Type range = arguments.get(1);
+        boolean isCompatible = range == DYN
+                || (range instanceof Type.ListType list && Type.areCompatible(item, list.item()))
+                || (range instanceof Type.MapType map && Type.areCompatible(item, map.key()));
+        return isCompatible ? BOOL : fault(call, item + " in " + range + ", expected a list or a map of such");
+    }
+
+    private Type index(Ast.Call call, List<Type> arguments) {
+        Type operand = arguments.get(0);
+        Type index = arguments.get(1);
+        if (operand instanceof Type.ListType list && Type.areCompatible(index, INT)) {
+            return list.item();
         }
-        if (args.get(0) instanceof Type.MapType m && Type.fits(args.get(1), m.key())) {
-            return m.value();
+        if (operand instanceof Type.MapType map && Type.areCompatible(index, map.key())) {
+            return map.value();
         }
-        return args.get(0) == DYN
+        return operand == DYN
                 ? DYN
-                : fault(x, args.get(0) + "[" + args.get(1) + "], expected a list and int, or a map and its key");
+                : fault(call, operand + "[" + index + "], expected a list and int, or a map and its key");
     }
 
-    private Type overload(Ast.Call x, List<Type> args) {
-        if (x.function().equals("+") && args.get(0) instanceof Type.ListType && args.get(1) instanceof Type.ListType) {
-            return Type.common(args);
+    /** {@code +}: of lists it gives a list of what both hold; all else is in the table of overloads. */
+    private Type addition(Ast.Call call, List<Type> arguments) {
+        int lists = 0;
+        int unknown = 0;
+        for (Type argument : arguments) {
+            lists += argument instanceof Type.ListType ? 1 : 0;
+            unknown += argument == DYN ? 1 : 0;
         }
-        if (x.function().equals("+")
-                && args.contains(DYN)
-                && args.stream().allMatch(t -> t == DYN || t instanceof Type.ListType)) {
-            return DYN;
+        if (lists == arguments.size()) {
+            return Type.join(arguments);
         }
-        List<Signatures.Signature> all = Signatures.of(x.function(), x.method());
-        if (all.isEmpty()) {
-            return fault(x, "no such " + (x.method() ? "method" : "function") + " '" + x.function() + "'");
+        return lists + unknown == arguments.size() ? DYN : overload(call, arguments);
+    }
+
+    private Type overload(Ast.Call call, List<Type> arguments) {
+        List<Signatures.Overload> overloads = Signatures.overloads(call.function(), call.receiverStyle());
+        if (overloads.isEmpty()) {
+            return fault(
+                    call, "no such " + (call.receiverStyle() ? "method" : "function") + " '" + call.function() + "'");
         }
-        List<Type> gives = new ArrayList<>();
-        for (Signatures.Signature s : all) {
-            boolean fits = s.takes().size() == args.size();
-            for (int i = 0; fits && i < args.size(); i++) {
-                fits = Type.fits(args.get(i), s.takes().get(i));
-            }
-            if (fits) {
-                gives.add(s.gives());
+        List<Type> results = new ArrayList<>();
+        for (Signatures.Overload overload : overloads) {
+            if (overload.accepts(arguments)) {
+                results.add(overload.result());
             }
         }
-        if (gives.isEmpty()) {
+        if (results.isEmpty()) {
             return fault(
-                    x,
-                    name(x) + " of " + words(args) + ", expected "
-                            + String.join(
-                                    " or ",
-                                    all.stream()
-                                            .map(s -> words(s.takes()))
-                                            .distinct()
-                                            .toList()));
-        }
-        constants(x);
-        return Type.common(gives);
+                    call, name(call) + " of " + describe(arguments) + ", expected " + describeParameters(overloads));
+        }
+        ConstantArguments.fault(call).ifPresent(message -> fault(ConstantArguments.last(call), message));
+        return Type.join(results);
     }
 
-    private static String name(Ast.Call x) {
-        return x.function().endsWith("_") ? x.function().substring(0, 1) : x.function();
+    private static String describeParameters(List<Signatures.Overload> overloads) {
+        Set<String> distinct = new LinkedHashSet<>();
+        for (Signatures.Overload overload : overloads) {
+            distinct.add(describe(overload.parameters()));
+        }
+        return String.join(" or ", distinct);
     }
 
-    private static String words(List<Type> types) {
+    private static String describe(List<Type> types) {
         return "(" + String.join(", ", types.stream().map(Type::toString).toList()) + ")";
     }
 
-    /** What is constant is looked at here, not when a request comes: patterns must be; times, durations and zones may be. */
-    private void constants(Ast.Call x) {
-        Ast last = x.args().get(x.args().size() - 1);
-        Object value = last instanceof Ast.Literal l ? l.value() : null;
-        try {
-            if (x.function().equals("matches")) {
-                if (value instanceof String pattern) {
-                    Functions.pattern(pattern);
-                } else {
-                    fault(last, "a pattern that is not constant, expected a string literal");
-                }
-            } else if (value instanceof String s && x.function().equals("timestamp")) {
-                Functions.timestamp(s);
-            } else if (value instanceof String s && x.function().equals("duration")) {
-                if (Functions.duration(s) == null) {
-                    fault(last, "no duration, expected such as \"1h30m\"");
-                }
-            } else if (value instanceof String s
-                    && x.function().startsWith("get")
-                    && x.args().size() == 2) {
-                ZoneId.of(s);
-            }
-        } catch (com.google.re2j.PatternSyntaxException | PatternSyntaxException | DateTimeException e) {
-            fault(last, e.getMessage());
-        }
+    /** The function as it is written: unary operators stand in the tree with {@code _} behind them. */
+    private static String name(Ast.Call call) {
+        String function = call.function();
+        return function.endsWith("_") ? function.substring(0, 1) : function;
     }
 }
--- a/src/main/java/elderseam/rules/cel/CostCounter.java
+++ b/src/main/java/elderseam/rules/cel/CostCounter.java
@@ -1,23 +1,24 @@
 package elderseam.rules.cel;
 
-/** What an evaluation has cost so far, and may. */
+/** The cost of an evaluation so far, and the most that it may reach. Confined to one thread. */
 final class CostCounter {
-    private final long most;
-    private long count;
+    private final long budget;
+    private long cost;
 
-    CostCounter(long most) {
-        this.most = most;
+    CostCounter(long budget) {
+        this.budget = budget;
     }
 
-    void count(long units) {
-        count = ValueSize.add(count, units);
+    /** Adds units to the cost, also beyond the budget. */
+    void charge(long units) {
+        cost = ValueSize.add(cost, units);
     }
 
-    boolean over() {
-        return count > most;
+    boolean isOverBudget() {
+        return cost > budget;
     }
 
-    long count() {
-        return count;
+    long cost() {
+        return cost;
     }
 }
--- a/src/main/java/elderseam/rules/cel/CostEstimator.java
+++ b/src/main/java/elderseam/rules/cel/CostEstimator.java
@@ -1,185 +1,179 @@
 package elderseam.rules.cel;
 
-import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** The worst-case cost of an expression, from declared sizes of its names, and of which part it is most. */
+/** Estimates the worst-case cost of an expression from the declared sizes of its names, and finds the part that costs too much. */
 final class CostEstimator {
-    /** Of one node with all below it. */
-    record Bound(long cost, ValueSize size) {}
+    private static final int MAX_CHARS_OF_NON_STRING = 64;
+    private static final int MAX_OCTETS_PER_CHAR = 4;
+
+    /**
+     * The bound of a node.
+     *
+     * @param cost of the node and all below it
+     * @param size the largest that its value may be
+     */
+    private record Estimate(long cost, ValueSize size) {}
 
     private final Scope scope;
-    private final Map<String, ValueSize> variables = new HashMap<>();
+    private final VariableBindings<ValueSize> variables = new VariableBindings<>();
     private final long budget;
-    private IdentityHashMap<Ast, Long> seen; // the bound of each node, where it is asked for
-    private Ast culprit; // the first, deepest node that is above the budget by itself
+    private final IdentityHashMap<Ast, Long> costs = new IdentityHashMap<>();
+    private Ast firstOverBudget; // in the order of evaluation, so that nothing below it is over the budget by itself
 
     private CostEstimator(Scope scope, long budget) {
         this.scope = scope;
         this.budget = budget;
     }
 
-    /** The bound; refused where it is above the budget, at the innermost part that is. */
-    static long of(String text, Ast tree, Scope scope, long budget) throws ExpressionException {
-        CostEstimator b = new CostEstimator(scope, budget);
-        long cost = b.of(tree).cost;
+    /** The worst-case cost. Throws with a fault at the innermost part that is above the budget by itself. */
+    static long maxCost(String text, Ast tree, Scope scope, long budget) throws ExpressionException {
+        CostEstimator estimator = new CostEstimator(scope, budget);
+        long cost = estimator.estimate(tree).cost;
         if (cost > budget) {
+            String units = cost >= ValueSize.UNBOUNDED ? "without end" : Long.toString(cost);
             throw new ExpressionException(ExpressionFault.at(
-                    text,
-                    b.culprit.at(),
-                    "may cost " + (cost >= ValueSize.MOST ? "without end" : Long.toString(cost)) + " units, allowed: "
-                            + budget));
+                    text, estimator.firstOverBudget.position(), "may cost " + units + " units, allowed: " + budget));
         }
         return cost;
     }
 
-    /** A line for each node, with its type and bound; below what holds it. */
-    static String explained(Ast tree, Map<Ast, Type> types, Scope scope) {
-        CostEstimator b = new CostEstimator(scope, ValueSize.MOST);
-        StringBuilder all = new StringBuilder();
-        b.seen = new IdentityHashMap<>();
-        b.of(tree);
-        b.explain(tree, 0, types, all);
-        return all.toString();
-    }
-
-    private void explain(Ast a, int depth, Map<Ast, Type> types, StringBuilder to) {
-        String what = "  ".repeat(Math.min(depth, 40)) + words(a);
-        to.append(String.format(java.util.Locale.ROOT, "%-56s %-24s %s%n", what, types.get(a), seen.get(a)));
-        Ast.below(a).forEach(x -> explain(x, depth + 1, types, to));
+    /** The worst-case cost of each node with all below it, by identity. */
+    static Map<Ast, Long> costs(Ast tree, Scope scope) {
+        CostEstimator estimator = new CostEstimator(scope, ValueSize.UNBOUNDED);
+        estimator.estimate(tree);
+        return estimator.costs;
     }
 
-    private static String words(Ast a) {
-        return a instanceof Ast.Literal x
-                ? x.value() instanceof String s ? "'" + s + "'" : x.value().toString()
-                : a instanceof Ast.Name x
-                        ? x.name()
-                        : a instanceof Ast.Present
-                                ? "has"
-                                : a instanceof Ast.Select x
-                                        ? (x.has() ? "has ." : ".") + x.field()
-                                        : a instanceof Ast.Call x
-                                                ? x.function()
-                                                : a instanceof Ast.ListOf
-                                                        ? "[...]"
-                                                        : a instanceof Ast.MapOf
-                                                                ? "{...}"
-                                                                : ((Ast.Each) a).macro() + " "
-                                                                        + ((Ast.Each) a).variable();
+    private Estimate estimate(Ast node) {
+        Estimate estimate = estimateOf(node);
+        if (estimate.cost > budget && firstOverBudget == null) {
+            firstOverBudget = node;
+        }
+        costs.put(node, estimate.cost);
+        return estimate;
     }
 
-    private Bound of(Ast a) {
-        Bound b = a instanceof Ast.Literal x
-                ? new Bound(1, CostModel.of(x.value()))
-                : a instanceof Ast.Name x
-                        ? new Bound(1, size(x.name()))
-                        : a instanceof Ast.Present x
-                                ? new Bound(1 + of(x.name()).cost, ValueSize.ONE)
-                                : a instanceof Ast.Select x
-                                        ? select(x)
-                                        : a instanceof Ast.Call x
-                                                ? call(x)
-                                                : a instanceof Ast.ListOf x
-                                                        ? list(x.items())
-                                                        : a instanceof Ast.MapOf x ? map(x) : each((Ast.Each) a);
-        if (b.cost > budget && culprit == null) {
-            culprit = a;
+    private Estimate estimateOf(Ast node) {
+        if (node instanceof Ast.Literal literal) {
+            return new Estimate(1, CostModel.sizeOf(literal.value()));
+        }
+        if (node instanceof Ast.Identifier identifier) {
+            return new Estimate(1, size(identifier.name()));
+        }
+        if (node instanceof Ast.PresenceTest test) {
+            return new Estimate(1 + estimate(test.field()).cost, ValueSize.ONE);
+        }
+        if (node instanceof Ast.Select select) {
+            return select(select);
+        }
+        if (node instanceof Ast.Call call) {
+            return call.is(Operators.CONDITIONAL) ? conditional(call) : call(call);
         }
-        if (seen != null) {
-            seen.put(a, b.cost);
+        if (node instanceof Ast.CreateList list) {
+            return list(list.items());
         }
-        return b;
+        return node instanceof Ast.CreateMap map ? map(map) : comprehension((Ast.Comprehension) node);
     }
 
     private ValueSize size(String name) {
-        ValueSize s = variables.get(name);
-        return s != null
-                ? s
-                : scope.get(name) == null ? ValueSize.ONE : scope.get(name).size();
+        ValueSize variable = variables.get(name);
+        if (variable != null) {
+            return variable;
+        }
+        Scope.Declaration declaration = scope.get(name);
+        return declaration == null ? ValueSize.ONE : declaration.size();
     }
 
-    private Bound select(Ast.Select x) {
-        Bound of = of(x.of());
-        return new Bound(
-                ValueSize.add(of.cost, 1 + ValueSize.text(x.field().length()).whole()),
-                x.has() ? ValueSize.ONE : of.size.items());
+    private Estimate select(Ast.Select select) {
+        Estimate operand = estimate(select.operand());
+        long fieldCost = ValueSize.text(select.field().length()).scanCost();
+        return new Estimate(
+                ValueSize.add(operand.cost, 1 + fieldCost),
+                select.testOnly() ? ValueSize.ONE : operand.size.itemOrOne());
     }
 
-    private Bound list(List<Ast> items) {
+    private Estimate list(List<Ast> items) {
         long cost = 1;
-        ValueSize item = ValueSize.NONE;
-        for (Ast i : items) {
-            Bound b = of(i);
-            cost = ValueSize.add(cost, b.cost);
-            item = ValueSize.larger(item, b.size);
+        ValueSize largest = ValueSize.NONE;
+        for (Ast node : items) {
+            Estimate item = estimate(node);
+            cost = ValueSize.add(cost, item.cost);
+            largest = ValueSize.max(largest, item.size);
         }
-        return new Bound(cost, ValueSize.list(items.size(), item));
+        return new Estimate(cost, ValueSize.list(items.size(), largest));
     }
 
-    private Bound map(Ast.MapOf x) {
+    private Estimate map(Ast.CreateMap map) {
         long cost = 1;
-        ValueSize item = ValueSize.NONE;
-        for (int i = 0; i < x.keys().size(); i++) {
-            Bound k = of(x.keys().get(i)), v = of(x.values().get(i));
-            cost = ValueSize.add(cost, ValueSize.add(k.size.whole(), ValueSize.add(k.cost, v.cost)));
-            item = ValueSize.larger(item, ValueSize.larger(k.size, v.size));
+        ValueSize largest = ValueSize.NONE;
+        for (int i = 0; i < map.keys().size(); i++) {
+            Estimate key = estimate(map.keys().get(i));
+            Estimate value = estimate(map.values().get(i));
+            cost = ValueSize.add(cost, ValueSize.add(key.size.scanCost(), ValueSize.add(key.cost, value.cost)));
+            largest = ValueSize.max(largest, ValueSize.max(key.size, value.size));
         }
-        return new Bound(cost, ValueSize.list(x.keys().size(), item));
+        return new Estimate(cost, ValueSize.list(map.keys().size(), largest));
     }
 
-    private Bound each(Ast.Each x) {
-        Bound range = of(x.range());
-        ValueSize item = range.size.items(), hidden = variables.put(x.variable(), item);
-        Bound filter = x.filter() == null ? new Bound(0, ValueSize.ONE) : of(x.filter()), body = of(x.body());
-        if (hidden == null) {
-            variables.remove(x.variable());
-        } else {
-            variables.put(x.variable(), hidden);
-        }
-        long round = ValueSize.add(1, ValueSize.add(filter.cost, body.cost));
-        long cost = ValueSize.add(ValueSize.add(1, range.cost), ValueSize.mul(range.size.length(), round));
-        return new Bound(
-                cost,
-                switch (x.macro()) {
-                    case "map" -> ValueSize.list(range.size.length(), body.size);
-                    case "filter" -> ValueSize.list(range.size.length(), item);
-                    default -> ValueSize.ONE;
-                });
+    private Estimate comprehension(Ast.Comprehension comprehension) {
+        Estimate range = estimate(comprehension.range());
+        long length = range.size.length();
+        ValueSize item = range.size.itemOrOne();
+        ValueSize hidden = variables.bind(comprehension.variable(), item);
+        long filterCost = comprehension.filter() == null ? 0 : estimate(comprehension.filter()).cost;
+        Estimate body = estimate(comprehension.body());
+        variables.unbind(comprehension.variable(), hidden);
+        long iterationCost = ValueSize.add(1, ValueSize.add(filterCost, body.cost));
+        long cost = ValueSize.add(ValueSize.add(1, range.cost), ValueSize.multiply(length, iterationCost));
+        ValueSize size = switch (comprehension.macro()) {
+            case MAP -> ValueSize.list(length, body.size);
+            case FILTER -> ValueSize.list(length, item);
+            case ALL, EXISTS, EXISTS_ONE -> ValueSize.ONE;
+        };
+        return new Estimate(cost, size);
     }
 
-    private Bound call(Ast.Call x) {
-        Bound[] args = x.args().stream().map(this::of).toArray(Bound[]::new);
-        if (x.function().equals("?:")) {
-            return new Bound(
-                    ValueSize.add(1, ValueSize.add(args[0].cost, Math.max(args[1].cost, args[2].cost))),
-                    ValueSize.larger(args[1].size, args[2].size));
-        }
-        ValueSize[] sizes = new ValueSize[args.length];
+    private Estimate conditional(Ast.Call call) {
+        Estimate condition = estimate(call.argument(0));
+        Estimate whenTrue = estimate(call.argument(1));
+        Estimate whenFalse = estimate(call.argument(2));
+        return new Estimate(
+                ValueSize.add(1, ValueSize.add(condition.cost, Math.max(whenTrue.cost, whenFalse.cost))),
+                ValueSize.max(whenTrue.size, whenFalse.size));
+    }
+
+    private Estimate call(Ast.Call call) {
+        ValueSize[] sizes = new ValueSize[call.arguments().size()];
         long cost = 0;
-        for (int i = 0; i < args.length; i++) {
-            sizes[i] = args[i].size;
-            cost = ValueSize.add(cost, args[i].cost);
+        for (int i = 0; i < sizes.length; i++) {
+            Estimate argument = estimate(call.argument(i));
+            sizes[i] = argument.size;
+            cost = ValueSize.add(cost, argument.cost);
         }
-        return new Bound(ValueSize.add(cost, CostModel.of(x.function(), sizes)), result(x.function(), sizes));
+        return new Estimate(
+                ValueSize.add(cost, CostModel.costOf(call.function(), sizes)), resultSize(call.function(), sizes));
     }
 
-    private static ValueSize result(String function, ValueSize[] a) {
+    private static ValueSize resultSize(String function, ValueSize[] arguments) {
+        ValueSize first = arguments[0];
         return switch (function) {
-            case "+" ->
-                new ValueSize(
-                        ValueSize.add(a[0].length(), a[1].length()),
-                        a[0].item() == null
-                                ? a[1].item()
-                                : ValueSize.larger(a[0], a[1]).item(),
-                        ValueSize.add(a[0].chars(), a[1].chars()),
-                        ValueSize.add(a[0].whole(), a[1].whole()));
-            case "[]" -> a[0].items();
-            case "string" -> ValueSize.text(Math.max(64, a[0].chars()));
-            case "bytes" -> ValueSize.text(ValueSize.mul(4, a[0].chars()));
-            case "dyn" -> a[0];
+            case Operators.ADD -> sum(first, arguments[1]);
+            case Operators.INDEX -> first.itemOrOne();
+            case "string" -> ValueSize.text(Math.max(MAX_CHARS_OF_NON_STRING, first.chars()));
+            case "bytes" -> ValueSize.text(ValueSize.multiply(MAX_OCTETS_PER_CHAR, first.chars()));
+            case "dyn" -> first;
             default -> ValueSize.ONE;
         };
     }
+
+    private static ValueSize sum(ValueSize left, ValueSize right) {
+        return new ValueSize(
+                ValueSize.add(left.length(), right.length()),
+                left.item() == null ? right.item() : ValueSize.max(left, right).item(),
+                ValueSize.add(left.chars(), right.chars()),
+                ValueSize.add(left.scanCost(), right.scanCost()));
+    }
 }
--- a/src/main/java/elderseam/rules/cel/CostModel.java
+++ b/src/main/java/elderseam/rules/cel/CostModel.java
@@ -1,47 +1,69 @@
 package elderseam.rules.cel;
 
 import static elderseam.rules.cel.ValueSize.add;
-import static elderseam.rules.cel.ValueSize.mul;
+import static elderseam.rules.cel.ValueSize.multiply;
+
+import java.util.List;
+import java.util.Map;
 
 /**
- * What functions cost, in units of about one small step, by the sizes of what they are given. The bound at load and the count
- * while evaluating both come from here, so that the count is below the bound wherever inputs keep to what was declared.
+ * What functions cost, in units of about one small step, by the sizes of their arguments. Both the bound at compile time
+ * ({@link CostEstimator}) and the count at evaluation come from here, so that no count exceeds the bound while inputs keep to their
+ * declared sizes.
  */
 final class CostModel {
+    private static final int CONVERSION_COST = 8;
+    private static final int TIME_ACCESSOR_COST = 20;
+    /** A linear-time match looks at each character with each state of the pattern; four such looks cost one unit. */
+    static final int PATTERN_STATES_PER_UNIT = 4;
+
     private CostModel() {}
 
-    static long of(String function, ValueSize[] a) {
+    /** The cost of one call, without that of its arguments. */
+    static long costOf(String function, ValueSize[] arguments) {
+        ValueSize first = arguments[0];
         return switch (function) {
-            case "==", "!=", "<", "<=", ">", ">=" -> add(1, add(a[0].whole(), a[1].whole()));
-            case "+" -> add(1, add(a[0].whole(), a[1].whole()));
-            case "in" ->
-                add(
-                        1,
-                        a[1].item() == null
-                                ? a[0].whole()
-                                : mul(
-                                        a[1].length(),
-                                        add(a[0].whole(), a[1].items().whole())));
-            case "[]" -> add(1, a[1].whole());
-            case "startsWith", "endsWith" -> add(1, a[1].texts());
-            case "contains" -> add(1, add(a[0].texts(), mul(a[0].chars(), a[1].chars()) / 16));
-            case "matches" -> add(1, mul(1 + a[0].chars(), 1 + a[1].chars()) / 4);
-            case "size" -> a[0].texts();
-            case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" -> add(8, a[0].texts());
-            default -> function.startsWith("get") ? 20 : 1;
+            case Operators.EQUALS,
+                    Operators.NOT_EQUALS,
+                    Operators.LESS,
+                    Operators.LESS_EQUALS,
+                    Operators.GREATER,
+                    Operators.GREATER_EQUALS,
+                    Operators.ADD -> add(1, add(first.scanCost(), arguments[1].scanCost()));
+            case Operators.IN -> add(1, searchCost(first, arguments[1]));
+            case Operators.INDEX -> add(1, arguments[1].scanCost());
+            case "startsWith", "endsWith" -> add(1, arguments[1].textScanCost());
+            case "contains" -> {
+                long comparisons = multiply(first.chars(), arguments[1].chars());
+                yield add(1, add(first.textScanCost(), comparisons / ValueSize.CHARS_PER_UNIT));
+            }
+            case Functions.MATCHES ->
+                add(1, multiply(1 + first.chars(), 1 + arguments[1].chars()) / PATTERN_STATES_PER_UNIT);
+            case "size" -> first.textScanCost();
+            case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" ->
+                add(CONVERSION_COST, first.textScanCost());
+            default -> TimeFunctions.isAccessor(function) ? TIME_ACCESSOR_COST : 1;
         };
     }
 
-    /** The size of a value. Of a list or map only how many there are: what looks at its items counts as it goes. */
-    static ValueSize of(Object v) {
-        return v instanceof String s
-                ? ValueSize.text(s.length())
-                : v instanceof ByteSequence b
-                        ? ValueSize.text(b.length())
-                        : v instanceof java.util.List<?> l
-                                ? ValueSize.list(l.size(), ValueSize.NONE)
-                                : v instanceof java.util.Map<?, ?> m
-                                        ? ValueSize.list(m.size(), ValueSize.NONE)
-                                        : ValueSize.ONE;
+    /** The cost of looking for an item in a list or a map. */
+    private static long searchCost(ValueSize item, ValueSize range) {
+        return range.item() == null
+                ? item.scanCost()
+                : multiply(range.length(), add(item.scanCost(), range.item().scanCost()));
+    }
+
+    /** The size of a value. Of a list or a map only how many items there are: what looks at them counts as it goes. */
+    static ValueSize sizeOf(Object value) {
+        if (value instanceof String string) {
+            return ValueSize.text(string.length());
+        }
+        if (value instanceof ByteSequence bytes) {
+            return ValueSize.text(bytes.length());
+        }
+        if (value instanceof List<?> list) {
+            return ValueSize.list(list.size(), ValueSize.NONE);
+        }
+        return value instanceof Map<?, ?> map ? ValueSize.list(map.size(), ValueSize.NONE) : ValueSize.ONE;
     }
 }
--- a/src/main/java/elderseam/rules/cel/DeepRecursion.java
+++ b/src/main/java/elderseam/rules/cel/DeepRecursion.java
@@ -2,43 +2,55 @@
 
 import java.util.function.Supplier;
 
-/** Work that calls itself for each level of a tree, on a stack of its own: those of the program's threads hold 256 KiB. */
+/** Runs work that recurses through the levels of a tree on a thread with a large stack: the program's threads have 256 KiB. */
 final class DeepRecursion {
-    private static final long STACK = 16L << 20;
+    private static final long STACK_BYTES = 16L << 20;
 
     private DeepRecursion() {}
 
+    /** Runs the work on a thread of its own, waits for it, also when interrupted, and returns its result or throws its exception. */
     static <T> T run(Supplier<T> work) {
-        Object[] result = new Object[1];
-        RuntimeException[] failed = new RuntimeException[1];
-        Thread t = new Thread(
-                null,
-                () -> {
-                    try {
-                        result[0] = work.get();
-                    } catch (RuntimeException e) {
-                        failed[0] = e;
-                    }
-                },
-                "rules",
-                STACK);
-        t.start();
-        boolean interrupted = false;
-        while (t.isAlive()) {
+        Run<T> run = new Run<>(work);
+        Thread thread = new Thread(null, run, "rules", STACK_BYTES);
+        thread.start();
+        joinUninterruptibly(thread);
+        if (run.failure != null) {
+            throw run.failure;
+        }
+        return run.result;
+    }
+
+    private static void joinUninterruptibly(Thread thread) {
+        boolean isInterrupted = false;
+        while (thread.isAlive()) {
             try {
-                t.join();
+                thread.join();
             } catch (InterruptedException e) {
-                interrupted = true;
+                isInterrupted = true;
             }
         }
-        if (interrupted) {
+        if (isInterrupted) {
             Thread.currentThread().interrupt();
         }
-        if (failed[0] != null) {
-            throw failed[0];
+    }
+
+    /** The work and how it ended; read by the caller after the thread has ended. */
+    private static final class Run<T> implements Runnable {
+        private final Supplier<T> work;
+        private T result;
+        private RuntimeException failure;
+
+        private Run(Supplier<T> work) {
+            this.work = work;
+        }
+
+        @Override
+        public void run() {
+            try {
+                result = work.get();
+            } catch (RuntimeException e) { // thrown again by the caller's thread
+                failure = e;
+            }
         }
-        @SuppressWarnings("unchecked")
-        T value = (T) result[0];
-        return value;
     }
 }
--- a/src/main/java/elderseam/rules/cel/Evaluator.java
+++ b/src/main/java/elderseam/rules/cel/Evaluator.java
@@ -2,207 +2,284 @@
 
 import com.google.re2j.Pattern;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
 /**
- * The reference: a walk over the tree. {@code &&} and {@code ||} take errors up where the other side decides, in either order;
- * {@code all} and {@code exists} likewise (CEL specification, "Logical Operators" and "Macros").
+ * The reference implementation: evaluates a tree by a walk over it, and charges each node as it goes. Errors are values
+ * ({@link EvaluationError}). {@code &&}, {@code ||}, {@code all} and {@code exists} absorb them where another operand, or item, decides
+ * the result (CEL specification, "Logical Operators" and "Macros").
+ *
+ * <p>For one evaluation; not thread-safe.
  */
 final class Evaluator {
     private final Function<String, Object> names;
     private final Map<Ast, Pattern> patterns;
     private final CostCounter counter;
-    private final Map<String, Object> variables = new HashMap<>();
+    private final VariableBindings<Object> variables = new VariableBindings<>();
 
+    /**
+     * Made for one evaluation.
+     *
+     * @param names gives the value of a name, or null
+     * @param patterns of calls of {@link Functions#MATCHES}, by the identity of nodes
+     */
     Evaluator(Function<String, Object> names, Map<Ast, Pattern> patterns, CostCounter counter) {
         this.names = names;
         this.patterns = patterns;
         this.counter = counter;
     }
 
-    Object value(Ast a) {
-        if (counter.over()) {
-            return EvaluationError.COST;
+    /** The value of a node, or an error; above the budget always an error. */
+    Object evaluate(Ast node) {
+        if (counter.isOverBudget()) {
+            return EvaluationError.BUDGET_EXCEEDED;
         }
-        Object v = a instanceof Ast.Call x ? call(x) : a instanceof Ast.Each x ? each(x) : plain(a);
-        return counter.over() ? EvaluationError.COST : v;
+        Object value = evaluateByKind(node);
+        return counter.isOverBudget() ? EvaluationError.BUDGET_EXCEEDED : value;
     }
 
-    private Object plain(Ast a) {
-        counter.count(1);
-        if (a instanceof Ast.Literal x) {
-            return x.value();
+    private Object evaluateByKind(Ast node) {
+        if (node instanceof Ast.Call call) {
+            return call(call);
         }
-        if (a instanceof Ast.Name x) {
-            Object v = variables.containsKey(x.name()) ? variables.get(x.name()) : names.apply(x.name());
-            return v == null ? EvaluationError.NO_NAME : v;
+        counter.charge(1);
+        if (node instanceof Ast.Comprehension comprehension) {
+            return comprehension(comprehension);
         }
-        if (a instanceof Ast.Present x) {
-            Object v = names.apply(x.name().name());
-            return v instanceof EvaluationError ? v : (Object) (v != null);
+        if (node instanceof Ast.Literal literal) {
+            return literal.value();
         }
-        if (a instanceof Ast.Select x) {
-            Object of = value(x.of());
-            counter.count(ValueSize.text(x.field().length()).whole());
-            if (of instanceof EvaluationError) {
-                return of;
-            }
-            Object v = of instanceof Map<?, ?> m ? m.get(x.field()) : EvaluationError.NO_OVERLOAD;
-            return v == EvaluationError.NO_OVERLOAD ? v : x.has() ? v != null : v == null ? EvaluationError.NO_KEY : v;
+        if (node instanceof Ast.Identifier identifier) {
+            return identifier(identifier.name());
+        }
+        if (node instanceof Ast.PresenceTest test) {
+            Object value = names.apply(test.field().name());
+            return value instanceof EvaluationError ? value : (Object) (value != null);
         }
-        return a instanceof Ast.ListOf x ? list(x) : map((Ast.MapOf) a);
+        if (node instanceof Ast.Select select) {
+            return select(select);
+        }
+        return node instanceof Ast.CreateList list ? list(list) : map((Ast.CreateMap) node);
     }
 
-    private Object list(Ast.ListOf x) {
-        List<Object> all = new ArrayList<>();
-        for (Ast i : x.items()) {
-            Object v = value(i);
-            if (v instanceof EvaluationError) {
-                return v;
-            }
-            all.add(v);
+    private Object identifier(String name) {
+        Object variable = variables.get(name);
+        Object value = variable != null ? variable : names.apply(name);
+        return value == null ? EvaluationError.NO_VALUE : value;
+    }
+
+    private Object select(Ast.Select select) {
+        Object operand = evaluate(select.operand());
+        counter.charge(ValueSize.text(select.field().length()).scanCost());
+        if (operand instanceof EvaluationError) {
+            return operand;
+        }
+        if (!(operand instanceof Map<?, ?> map)) {
+            return EvaluationError.NO_SUCH_OVERLOAD;
         }
-        return all;
+        Object value = map.get(select.field());
+        if (select.testOnly()) {
+            return value != null;
+        }
+        return value == null ? EvaluationError.NO_SUCH_KEY : value;
     }
 
-    private Object map(Ast.MapOf x) {
-        Map<Object, Object> all = new LinkedHashMap<>();
-        for (int i = 0; i < x.keys().size(); i++) {
-            Object k = value(x.keys().get(i)), v = value(x.values().get(i));
-            if (k instanceof EvaluationError || v instanceof EvaluationError) {
-                return k instanceof EvaluationError ? k : v;
-            }
-            counter.count(CostModel.of(k).whole());
-            if (!(k instanceof Long || k instanceof UnsignedLong || k instanceof String || k instanceof Boolean)) {
-                return EvaluationError.NO_OVERLOAD;
-            }
-            if (Functions.lookup(all, k) != null) {
-                return EvaluationError.DUPLICATE;
+    private Object list(Ast.CreateList list) {
+        List<Object> values = new ArrayList<>();
+        for (Ast item : list.items()) {
+            Object value = evaluate(item);
+            if (value instanceof EvaluationError) {
+                return value;
             }
-            all.put(k, v);
+            values.add(value);
         }
-        return all;
+        return values;
     }
 
-    private Object call(Ast.Call x) {
-        switch (x.function()) {
-            case "&&", "||" -> {
-                return logical(x);
+    private Object map(Ast.CreateMap map) {
+        Map<Object, Object> entries = new LinkedHashMap<>();
+        for (int i = 0; i < map.keys().size(); i++) {
+            Object key = evaluate(map.keys().get(i));
+            Object value = evaluate(map.values().get(i));
+            if (key instanceof EvaluationError) {
+                return key;
             }
-            case "?:" -> {
-                counter.count(1);
-                Object c = value(x.args().get(0));
-                return c instanceof Boolean b
-                        ? value(x.args().get(b ? 1 : 2))
-                        : c instanceof EvaluationError ? c : EvaluationError.NO_OVERLOAD;
+            if (value instanceof EvaluationError) {
+                return value;
             }
-            default -> {
-                Object[] args = new Object[x.args().size()];
-                ValueSize[] sizes = new ValueSize[args.length];
-                for (int i = 0; i < args.length; i++) {
-                    args[i] = value(x.args().get(i));
-                    if (args[i] instanceof EvaluationError) {
-                        return args[i];
-                    }
-                    sizes[i] = CostModel.of(args[i]);
-                }
-                // what goes through items counts them itself
-                boolean items = x.function().equals("in")
-                        || x.function().equals("==")
-                        || x.function().equals("!=");
-                counter.count(items ? 1 : CostModel.of(x.function(), sizes));
-                return counter.over()
-                        ? EvaluationError.COST
-                        : x.function().equals("matches")
-                                ? args[0] instanceof String s
-                                        ? (Object) patterns.get(x).matcher(s).find()
-                                        : EvaluationError.NO_OVERLOAD
-                                : Functions.call(x.function(), args, counter);
+            counter.charge(CostModel.sizeOf(key).scanCost());
+            if (!CollectionFunctions.isKey(key)) {
+                return EvaluationError.NO_SUCH_OVERLOAD;
+            }
+            if (CollectionFunctions.lookup(entries, key) != null) {
+                return EvaluationError.DUPLICATE_KEY;
             }
+            entries.put(key, value);
+        }
+        return entries;
+    }
+
+    // ---------------------------------------------------------------- calls
+
+    private Object call(Ast.Call call) {
+        return switch (call.function()) {
+            case Operators.LOGICAL_AND -> logical(call, false);
+            case Operators.LOGICAL_OR -> logical(call, true);
+            case Operators.CONDITIONAL -> conditional(call);
+            default -> strict(call);
+        };
+    }
+
+    /** {@code &&}, or {@code ||}; {@code deciding}: the operand's value that decides the result. */
+    private Object logical(Ast.Call call, boolean deciding) {
+        counter.charge(1);
+        Object left = evaluate(call.argument(0));
+        if (left instanceof Boolean value && value == deciding) {
+            return deciding;
+        }
+        Object right = evaluate(call.argument(1));
+        if (right instanceof Boolean value && value == deciding) {
+            return deciding;
         }
+        return left instanceof Boolean ? boolOrError(right) : boolOrError(left);
     }
 
-    /** The value that decides, on either side, decides; else an error is one. */
-    private Object logical(Ast.Call x) {
-        counter.count(1);
-        boolean decides = x.function().equals("||");
-        Object a = value(x.args().get(0));
-        if (a instanceof Boolean b && b == decides) {
-            return decides;
+    private static Object boolOrError(Object value) {
+        return value instanceof Boolean || value instanceof EvaluationError ? value : EvaluationError.NO_SUCH_OVERLOAD;
+    }
+
+    private Object conditional(Ast.Call call) {
+        counter.charge(1);
+        Object condition = evaluate(call.argument(0));
+        return condition instanceof Boolean isTrue ? evaluate(call.argument(isTrue ? 1 : 2)) : boolOrError(condition);
+    }
+
+    /** A call that evaluates all its arguments and ends in the first error of them. */
+    private Object strict(Ast.Call call) {
+        Object[] arguments = new Object[call.arguments().size()];
+        ValueSize[] sizes = new ValueSize[arguments.length];
+        for (int i = 0; i < arguments.length; i++) {
+            arguments[i] = evaluate(call.argument(i));
+            if (arguments[i] instanceof EvaluationError) {
+                return arguments[i];
+            }
+            sizes[i] = CostModel.sizeOf(arguments[i]);
+        }
+        String function = call.function();
+        counter.charge(Operators.chargesItemByItem(function) ? 1 : CostModel.costOf(function, sizes));
+        if (counter.isOverBudget()) {
+            return EvaluationError.BUDGET_EXCEEDED;
         }
-        Object b = value(x.args().get(1));
-        if (b instanceof Boolean v && v == decides) {
-            return decides;
+        if (function.equals(Functions.MATCHES)) {
+            return arguments[0] instanceof String text
+                    ? (Object) patterns.get(call).matcher(text).find()
+                    : EvaluationError.NO_SUCH_OVERLOAD;
         }
-        return !(a instanceof Boolean)
-                ? a instanceof EvaluationError ? a : EvaluationError.NO_OVERLOAD
-                : b instanceof Boolean || b instanceof EvaluationError ? b : EvaluationError.NO_OVERLOAD;
+        return Functions.call(function, arguments, counter);
     }
 
-    private Object each(Ast.Each x) {
-        counter.count(1);
-        Object range = value(x.range());
+    // ---------------------------------------------------------------- comprehensions
+
+    private Object comprehension(Ast.Comprehension comprehension) {
+        Object range = evaluate(comprehension.range());
         if (range instanceof EvaluationError) {
             return range;
         }
-        Iterable<?> items = range instanceof List<?> l ? l : range instanceof Map<?, ?> m ? m.keySet() : null;
-        if (items == null) {
-            return EvaluationError.NO_OVERLOAD;
-        }
-        boolean had = variables.containsKey(x.variable());
-        Object hidden = variables.get(x.variable());
-        Object v = over(x, items);
-        if (had) {
-            variables.put(x.variable(), hidden);
+        Iterable<?> items;
+        if (range instanceof List<?> list) {
+            items = list;
+        } else if (range instanceof Map<?, ?> map) {
+            items = map.keySet();
         } else {
-            variables.remove(x.variable());
+            return EvaluationError.NO_SUCH_OVERLOAD;
         }
-        return v;
+        Object hidden = variables.get(comprehension.variable());
+        Object value = switch (comprehension.macro()) {
+            case ALL -> allOrAny(comprehension, items, false);
+            case EXISTS -> allOrAny(comprehension, items, true);
+            case EXISTS_ONE -> one(comprehension, items);
+            case FILTER -> filter(comprehension, items);
+            case MAP -> map(comprehension, items);
+        };
+        variables.unbind(comprehension.variable(), hidden);
+        return value;
     }
 
-    private Object over(Ast.Each x, Iterable<?> items) {
-        List<Object> kept = new ArrayList<>();
-        Object error = null;
-        int trues = 0;
+    private void beginIteration(Ast.Comprehension comprehension, Object item) {
+        counter.charge(1);
+        variables.bind(comprehension.variable(), item);
+    }
+
+    /** The bool that the body gives for an item, or an error. */
+    private Object test(Ast.Comprehension comprehension, Object item) {
+        beginIteration(comprehension, item);
+        return boolOrError(evaluate(comprehension.body()));
+    }
+
+    /** {@code all}, or {@code exists}; {@code deciding}: the value of an item that decides the result. */
+    private Object allOrAny(Ast.Comprehension comprehension, Iterable<?> items, boolean deciding) {
+        Object firstError = null;
+        for (Object item : items) {
+            Object value = test(comprehension, item);
+            if (counter.isOverBudget()) {
+                return EvaluationError.BUDGET_EXCEEDED;
+            }
+            if (value.equals(deciding)) {
+                return deciding;
+            }
+            if (value instanceof EvaluationError && firstError == null) {
+                firstError = value;
+            }
+        }
+        return firstError == null ? (Object) !deciding : firstError;
+    }
+
+    private Object one(Ast.Comprehension comprehension, Iterable<?> items) {
+        int count = 0;
         for (Object item : items) {
-            counter.count(1);
-            variables.put(x.variable(), item);
-            Object filter = x.filter() == null ? (Object) true : value(x.filter());
-            Object v = filter instanceof Boolean b
-                    ? b ? value(x.body()) : null
-                    : filter instanceof EvaluationError ? filter : EvaluationError.NO_OVERLOAD;
-            if (counter.over()) {
-                return EvaluationError.COST;
+            Object value = test(comprehension, item);
+            if (value instanceof EvaluationError) {
+                return value;
             }
-            if (v == null) {
-                continue;
+            count += value.equals(true) ? 1 : 0;
+        }
+        return count == 1;
+    }
+
+    private Object filter(Ast.Comprehension comprehension, Iterable<?> items) {
+        List<Object> kept = new ArrayList<>();
+        for (Object item : items) {
+            Object value = test(comprehension, item);
+            if (value instanceof EvaluationError) {
+                return value;
             }
-            if (!x.macro().equals("map") && !(v instanceof Boolean)) {
-                v = v instanceof EvaluationError ? v : EvaluationError.NO_OVERLOAD;
+            if (value.equals(true)) {
+                kept.add(item);
             }
-            boolean absorbs = x.macro().equals("all") || x.macro().equals("exists");
-            if (v instanceof EvaluationError && !absorbs) {
-                return v;
+        }
+        return kept;
+    }
+
+    private Object map(Ast.Comprehension comprehension, Iterable<?> items) {
+        List<Object> results = new ArrayList<>();
+        for (Object item : items) {
+            beginIteration(comprehension, item);
+            Ast filter = comprehension.filter();
+            Object isTaken = filter == null ? (Object) true : boolOrError(evaluate(filter));
+            if (isTaken instanceof EvaluationError) {
+                return isTaken;
             }
-            if (v instanceof EvaluationError) {
-                error = error == null ? v : error;
-            } else if ((x.macro().equals("all") && v.equals(false))
-                    || (x.macro().equals("exists") && v.equals(true))) {
-                return v;
-            } else if (x.macro().equals("map") || (x.macro().equals("filter") && v.equals(true))) {
-                kept.add(x.macro().equals("map") ? v : item);
+            if (isTaken.equals(true)) {
+                Object value = evaluate(comprehension.body());
+                if (value instanceof EvaluationError) {
+                    return value;
+                }
+                results.add(value);
             }
-            trues += v.equals(true) ? 1 : 0;
         }
-        return switch (x.macro()) {
-            case "all" -> error == null ? (Object) true : error;
-            case "exists" -> error == null ? (Object) false : error;
-            case "exists_one" -> trues == 1;
-            default -> kept;
-        };
+        return results;
     }
 }
--- a/src/main/java/elderseam/rules/cel/Expression.java
+++ b/src/main/java/elderseam/rules/cel/Expression.java
@@ -5,121 +5,159 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
 
-/** An expression that was read, typed and bounded; to be evaluated any number of times. */
+/** An expression that was parsed, type-checked and bounded in cost. Immutable. */
 public final class Expression {
-    /** An expression, or every fault that it has. */
+    /**
+     * The result of {@link #compile}.
+     *
+     * @param expression null if there are faults
+     * @param faults all that were found; empty if there is an expression
+     */
     public record Compiled(Expression expression, List<ExpressionFault> faults) {}
 
-    /** A value, or an {@link EvaluationError}, and what it cost. */
+    /**
+     * The result of {@link #evaluate}.
+     *
+     * @param value the value, or an {@link EvaluationError}
+     * @param cost units that the evaluation cost
+     */
     public record Outcome(Object value, long cost) {}
 
-    private final Ast tree;
-    private final Type type;
-    private final long bound, budget;
-    private final IdentityHashMap<Ast, Pattern> patterns = new IdentityHashMap<>();
-
     private final String text;
+    private final Ast tree;
     private final Map<Ast, Type> types;
     private final Scope scope;
+    private final long bound;
+    private final long budget;
+    private final IdentityHashMap<Ast, Pattern> patterns = new IdentityHashMap<>();
 
     private Expression(String text, Ast tree, Map<Ast, Type> types, Scope scope, long bound, long budget) {
         this.text = text;
         this.tree = tree;
         this.types = types;
         this.scope = scope;
-        this.type = types.get(tree);
         this.bound = bound;
         this.budget = budget;
-        List<Ast> all = new ArrayList<>(List.of(tree));
-        for (int i = 0; i < all.size(); i++) {
-            all.addAll(Ast.below(all.get(i)));
-            if (all.get(i) instanceof Ast.Call c && c.function().equals("matches")) {
-                patterns.put(
-                        c, Functions.pattern((String) ((Ast.Literal) c.args().get(1)).value()));
+        for (Ast node : Ast.nodes(tree)) {
+            if (node instanceof Ast.Call call && call.is(Functions.MATCHES)) {
+                String pattern = (String) ((Ast.Literal) call.argument(1)).value();
+                patterns.put(call, Functions.pattern(pattern));
             }
         }
     }
 
-    /** Reads one; {@code asked}: what it is to give; {@code budget}: units that it may cost at the most. */
-    public static Compiled compile(String text, Scope scope, Type asked, long budget) {
-        return DeepRecursion.run(() -> compiled(text, scope, asked, budget));
+    /**
+     * Parses, checks and bounds an expression.
+     *
+     * @param scope the names that it may use; fields of open names that it selects are declared there
+     * @param expected the type that it is to give; {@code DYN} for any
+     * @param budget most units that it may cost
+     */
+    public static Compiled compile(String text, Scope scope, Type expected, long budget) {
+        return DeepRecursion.run(() -> compileHere(text, scope, expected, budget));
     }
 
-    private static Compiled compiled(String text, Scope scope, Type asked, long budget) {
+    private static Compiled compileHere(String text, Scope scope, Type expected, long budget) {
         try {
-            Ast tree = NameResolver.names(Parser.parse(text), scope);
-            Map<Ast, Type> types = Checker.check(text, tree, scope, asked);
-            return new Compiled(
-                    new Expression(text, tree, types, scope, CostEstimator.of(text, tree, scope, budget), budget),
-                    List.of());
+            Ast tree = NameResolver.resolve(Parser.parse(text), scope);
+            Map<Ast, Type> types = Checker.check(text, tree, scope, expected);
+            long bound = CostEstimator.maxCost(text, tree, scope, budget);
+            return new Compiled(new Expression(text, tree, types, scope, bound, budget), List.of());
         } catch (ExpressionException e) {
-            return new Compiled(null, e.faults);
+            return new Compiled(null, e.faults());
         }
     }
 
-    /** What it gives. */
+    /** The type of its values. */
     public Type type() {
-        return type;
+        return types.get(tree);
     }
 
-    /** The units that it may cost at the most, for inputs as declared. */
+    /** Most units that an evaluation costs while its inputs are as large as declared. */
     public long bound() {
         return bound;
     }
 
-    /** The compiled form; made anew at each call. */
+    /** Compiles the expression to steps; each call makes a new program. */
     public Program program() {
         return DeepRecursion.run(() -> Planner.plan(tree, types, scope, patterns, budget));
     }
 
+    /** The text that it was parsed from. */
     public String text() {
         return text;
     }
 
-    /** The names that it uses, but those of its macros' variables. */
-    public java.util.Set<String> names() {
-        java.util.Set<String> all = new java.util.TreeSet<>();
-        List<Ast> nodes = new ArrayList<>(List.of(tree));
-        for (int i = 0; i < nodes.size(); i++) {
-            nodes.addAll(Ast.below(nodes.get(i)));
-            if (nodes.get(i) instanceof Ast.Name n && scope.get(n.name()) != null) {
-                all.add(n.name());
+    /** The names of the scope that it uses, sorted. */
+    public Set<String> names() {
+        Set<String> names = new TreeSet<>();
+        for (Ast node : Ast.nodes(tree)) {
+            if (node instanceof Ast.Identifier identifier && scope.get(identifier.name()) != null) {
+                names.add(identifier.name());
             }
         }
-        return all;
+        return names;
     }
 
-    /** What it gives wherever it gives something, if that is known here: the literals at the ends of its {@code ?:}; else null. */
+    /**
+     * The values that it may have, if they are known before evaluation: it must be a literal, or {@code ?:} of literals.
+     *
+     * @return null if they aren't known
+     */
     public List<Object> outcomes() {
-        List<Object> all = new ArrayList<>();
-        return outcomes(tree, all) ? all : null;
+        List<Object> outcomes = new ArrayList<>();
+        return addOutcomes(tree, outcomes) ? outcomes : null;
+    }
+
+    /** Adds the values that a node may have; false if they aren't known. */
+    private static boolean addOutcomes(Ast node, List<Object> outcomes) {
+        if (node instanceof Ast.Literal literal) {
+            return outcomes.add(literal.value());
+        }
+        if (!(node instanceof Ast.Call call)) {
+            return false;
+        }
+        if (call.is(Operators.CONDITIONAL)) {
+            return addOutcomes(call.argument(1), outcomes) && addOutcomes(call.argument(2), outcomes);
+        }
+        Optional<Object> time = constantTime(call);
+        time.ifPresent(outcomes::add);
+        return time.isPresent();
     }
 
-    private static boolean outcomes(Ast a, List<Object> all) {
-        if (a instanceof Ast.Call c && c.function().equals("?:")) {
-            return outcomes(c.args().get(1), all) && outcomes(c.args().get(2), all);
+    /** The value of a duration or a timestamp that is written as a string literal; empty for other calls. */
+    private static Optional<Object> constantTime(Ast.Call call) {
+        boolean hasStringLiteral = call.arguments().size() == 1
+                && call.argument(0) instanceof Ast.Literal literal
+                && literal.value() instanceof String;
+        if (!hasStringLiteral) {
+            return Optional.empty();
         }
-        if (a instanceof Ast.Call c
-                && c.args().size() == 1
-                && (c.function().equals("duration") || c.function().equals("timestamp"))
-                && c.args().get(0) instanceof Ast.Literal l
-                && l.value() instanceof String s) {
-            return all.add(c.function().equals("duration") ? Functions.duration(s) : Functions.timestamp(s));
+        String literal = (String) ((Ast.Literal) call.argument(0)).value();
+        if (call.is("timestamp")) {
+            return Optional.of(TimeFunctions.timestamp(literal));
         }
-        return a instanceof Ast.Literal l && all.add(l.value());
+        return call.is("duration") ? TimeFunctions.duration(literal).map(Object.class::cast) : Optional.empty();
     }
 
-    /** The checked tree, a line each node: what it is, its type, and the most that it may cost with all below it. */
-    public String explained() {
-        return DeepRecursion.run(() -> CostEstimator.explained(tree, types, scope));
+    /** The checked tree, a line for each node: what it is, its type, and the most that it may cost with all below it. */
+    public String explain() {
+        return DeepRecursion.run(() -> TreePrinter.print(tree, types, CostEstimator.costs(tree, scope)));
     }
 
-    /** Evaluates it by the reference; {@code names}: the value of a name, or null. Above its budget it ends in an error. */
+    /**
+     * Evaluates it by the reference implementation. Above its budget it ends in an error.
+     *
+     * @param names gives the value of a name; null for none, or an {@link EvaluationError}
+     */
     public Outcome evaluate(Function<String, Object> names) {
         CostCounter counter = new CostCounter(budget);
-        Object v = new Evaluator(names, patterns, counter).value(tree);
-        return new Outcome(v, counter.count());
+        Object value = new Evaluator(names, patterns, counter).evaluate(tree);
+        return new Outcome(value, counter.cost());
     }
 }
--- a/src/main/java/elderseam/rules/cel/Lexer.java
+++ b/src/main/java/elderseam/rules/cel/Lexer.java
@@ -5,201 +5,286 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalInt;
 
-/** Text to tokens, by the lexis of the CEL specification ("Syntax"): numbers, strings plain, raw, of bytes, of three quotes. */
+/** Turns text into tokens, by the lexical rules of the CEL specification ("Syntax"). */
 final class Lexer {
-    private static final List<String> SIGNS = List.of(
+    /** The value of the literal 2<sup>63</sup>, which is an int only when it is negated. */
+    static final Object MIN_INT_MAGNITUDE = new Object();
+
+    private static final String MIN_INT_DIGITS = "9223372036854775808";
+    /** Longer ones first, so that none is taken for the beginning of another. */
+    private static final List<String> SYMBOLS = List.of(
             "==", "!=", "<=", ">=", "&&", "||", "<", ">", "+", "-", "*", "/", "%", "!", "?", ":", ".", ",", "(", ")",
             "[", "]", "{", "}");
 
+    private static final String WHITESPACE = " \t\n\r\f";
+    private static final String STRING_PREFIXES = "rRbB";
+    /** Letters of the escapes of one letter, and at the same index what they stand for. */
+    private static final String ESCAPE_LETTERS = "abfnrtv\\?\"'`";
+
+    private static final String ESCAPED_CHARACTERS = "\u0007\b\f\n\r\t\u000b\\?\"'`";
+    private static final char END_OF_TEXT = '\0';
+    private static final int ASCII_LIMIT = 128;
+    /** An escape's value at which a further digit might overflow; above all code points. */
+    private static final int MAX_ESCAPE_PREFIX = 1 << 26;
+
     private final String text;
-    private int at;
+    private int position;
 
     private Lexer(String text) {
         this.text = text;
     }
 
+    /** The tokens of a text; the last is of the kind END. */
     static List<Token> tokens(String text) throws ExpressionException {
-        Lexer l = new Lexer(text);
-        List<Token> all = new ArrayList<>();
+        Lexer lexer = new Lexer(text);
+        List<Token> tokens = new ArrayList<>();
+        Token token;
         do {
-            all.add(l.next());
-        } while (all.get(all.size() - 1).kind() != Token.Kind.END);
-        return all;
+            token = lexer.next();
+            tokens.add(token);
+        } while (token.kind() != Token.Kind.END);
+        return tokens;
     }
 
-    private ExpressionException fault(int offset, String words) {
-        return new ExpressionException(ExpressionFault.at(text, offset, words));
+    private ExpressionException fault(int offset, String message) {
+        return new ExpressionException(ExpressionFault.at(text, offset, message));
     }
 
+    /** The character so far ahead of the position; {@link #END_OF_TEXT} behind the last. */
     private char peek(int ahead) {
-        return at + ahead < text.length() ? text.charAt(at + ahead) : '\0';
+        return position + ahead < text.length() ? text.charAt(position + ahead) : END_OF_TEXT;
+    }
+
+    private char peek() {
+        return peek(0);
     }
 
     private Token next() throws ExpressionException {
-        while (at < text.length() && (" \t\n\r\f".indexOf(peek(0)) >= 0 || (peek(0) == '/' && peek(1) == '/'))) {
-            int end = text.indexOf('\n', at);
-            at = peek(0) != '/' ? at + 1 : end < 0 ? text.length() : end;
-        }
-        if (at >= text.length()) {
+        skipWhitespaceAndComments();
+        if (position >= text.length()) {
             return new Token(Token.Kind.END, "", text.length());
         }
-        int from = at;
-        char c = peek(0);
-        if (isDigit(c) || (c == '.' && isDigit(peek(1)))) {
-            return new Token(Token.Kind.LITERAL, number(), from);
+        int start = position;
+        if (isDigit(peek()) || (peek() == '.' && isDigit(peek(1)))) {
+            return new Token(Token.Kind.LITERAL, number(), start);
         }
-        int prefix = prefix();
-        if (prefix >= 0) {
-            return new Token(Token.Kind.LITERAL, string(prefix), from);
+        OptionalInt prefixLength = stringPrefixLength();
+        if (prefixLength.isPresent()) {
+            return new Token(Token.Kind.LITERAL, string(prefixLength.getAsInt()), start);
         }
-        if (isLetter(c)) {
-            while (isLetter(peek(0)) || isDigit(peek(0))) {
-                at++;
+        if (isLetter(peek())) {
+            while (isLetter(peek()) || isDigit(peek())) {
+                position++;
             }
-            return new Token(Token.Kind.NAME, text.substring(from, at), from);
+            return new Token(Token.Kind.NAME, text.substring(start, position), start);
         }
-        for (String s : SIGNS) {
-            if (text.startsWith(s, at)) {
-                at += s.length();
-                return new Token(Token.Kind.SIGN, s, from);
+        for (String symbol : SYMBOLS) {
+            if (text.startsWith(symbol, position)) {
+                position += symbol.length();
+                return new Token(Token.Kind.SYMBOL, symbol, start);
             }
         }
-        throw fault(at, "a character that begins nothing");
+        throw fault(position, "a character that begins nothing");
+    }
+
+    private void skipWhitespaceAndComments() {
+        while (position < text.length()) {
+            if (WHITESPACE.indexOf(peek()) >= 0) {
+                position++;
+            } else if (peek() == '/' && peek(1) == '/') {
+                int lineEnd = text.indexOf('\n', position);
+                position = lineEnd < 0 ? text.length() : lineEnd;
+            } else {
+                return;
+            }
+        }
+    }
+
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
     }
 
-    private static boolean isDigit(char c) {
-        return c >= '0' && c <= '9';
+    private static boolean isLetter(char character) {
+        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || character == '_';
     }
 
-    private static boolean isLetter(char c) {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_';
+    private static boolean isHexDigit(char character) {
+        return character < ASCII_LIMIT && Character.digit(character, 16) >= 0;
     }
 
+    // ---------------------------------------------------------------- numbers
+
     private Object number() throws ExpressionException {
-        int from = at;
-        boolean hex = peek(0) == '0' && (peek(1) == 'x' || peek(1) == 'X');
-        at += hex ? 2 : 0;
-        while (hex ? Character.digit(peek(0), 16) >= 0 && peek(0) < 128 : isDigit(peek(0))) {
-            at++;
-        }
-        boolean whole = true;
-        if (!hex && peek(0) == '.' && isDigit(peek(1))) {
-            whole = false;
-            at++;
-            while (isDigit(peek(0))) {
-                at++;
-            }
+        if (peek() == '0' && (peek(1) == 'x' || peek(1) == 'X')) {
+            return hexNumber();
         }
-        if (!hex && (peek(0) == 'e' || peek(0) == 'E')) {
-            whole = false;
-            at += peek(1) == '+' || peek(1) == '-' ? 2 : 1;
-            if (!isDigit(peek(0))) {
-                throw fault(at, "an exponent has digits");
-            }
-            while (isDigit(peek(0))) {
-                at++;
-            }
+        int start = position;
+        skipDigits();
+        boolean isDouble = skipFraction();
+        isDouble |= skipExponent();
+        String digits = text.substring(start, position);
+        if (isDouble) {
+            return Double.parseDouble(digits);
+        }
+        // the least int is written as a negation: its digits alone are one too many
+        return digits.equals(MIN_INT_DIGITS) && !isUnsignedSuffix() ? MIN_INT_MAGNITUDE : integer(digits, 10, start);
+    }
+
+    private Object hexNumber() throws ExpressionException {
+        int start = position;
+        position += 2;
+        while (isHexDigit(peek())) {
+            position++;
+        }
+        return integer(text.substring(start + 2, position), 16, start);
+    }
+
+    private void skipDigits() {
+        while (isDigit(peek())) {
+            position++;
+        }
+    }
+
+    private boolean skipFraction() {
+        if (peek() != '.' || !isDigit(peek(1))) {
+            return false;
+        }
+        position++;
+        skipDigits();
+        return true;
+    }
+
+    private boolean skipExponent() throws ExpressionException {
+        if (peek() != 'e' && peek() != 'E') {
+            return false;
+        }
+        position += peek(1) == '+' || peek(1) == '-' ? 2 : 1;
+        if (!isDigit(peek())) {
+            throw fault(position, "an exponent has digits");
         }
-        String digits = text.substring(hex ? from + 2 : from, at);
+        skipDigits();
+        return true;
+    }
+
+    private boolean isUnsignedSuffix() {
+        return peek() == 'u' || peek() == 'U';
+    }
+
+    private Object integer(String digits, int radix, int start) throws ExpressionException {
         try {
-            if (!whole) {
-                return Double.parseDouble(digits);
-            }
-            if (peek(0) == 'u' || peek(0) == 'U') {
-                at++;
-                return new UnsignedLong(Long.parseUnsignedLong(digits, hex ? 16 : 10));
+            if (isUnsignedSuffix()) {
+                position++;
+                return new UnsignedLong(Long.parseUnsignedLong(digits, radix));
             }
-            // the least int is written as a negation: its digits alone are one too many
-            return hex || !digits.equals("9223372036854775808")
-                    ? (Object) Long.parseLong(digits, hex ? 16 : 10)
-                    : TOO_LARGE_BY_ONE;
+            return Long.parseLong(digits, radix);
         } catch (NumberFormatException e) {
-            throw fault(from, "a number that 64 bits do not hold");
+            throw fault(start, "a number that 64 bits do not hold");
         }
     }
 
-    /** 2 to the 63rd, which only a negation makes an int. */
-    static final Object TOO_LARGE_BY_ONE = new Object();
+    // ---------------------------------------------------------------- strings and bytes
 
-    /** How many letters stand before the quotes of a string that begins here; -1: none does. */
-    private int prefix() {
-        int n = 0;
-        while (n < 2 && "rRbB".indexOf(peek(n)) >= 0 && peek(n) != '\0') {
-            n++;
+    /** How many prefix letters stand before the quote of a string that begins here; empty where none does. */
+    private OptionalInt stringPrefixLength() {
+        int length = 0;
+        while (length < 2 && STRING_PREFIXES.indexOf(peek(length)) >= 0) {
+            length++;
         }
-        boolean twice = n == 2 && Character.toLowerCase(peek(0)) == Character.toLowerCase(peek(1));
-        return !twice && (peek(n) == '"' || peek(n) == '\'') ? n : -1;
+        boolean isSameLetterTwice = length == 2 && Character.toLowerCase(peek(0)) == Character.toLowerCase(peek(1));
+        boolean isQuote = peek(length) == '"' || peek(length) == '\'';
+        return isQuote && !isSameLetterTwice ? OptionalInt.of(length) : OptionalInt.empty();
     }
 
-    private Object string(int prefix) throws ExpressionException {
-        int from = at;
-        String letters = text.substring(at, at + prefix).toLowerCase(Locale.ROOT);
-        at += prefix;
-        boolean raw = letters.contains("r"), bytes = letters.contains("b");
-        String quote = text.startsWith("\"\"\"", at) || text.startsWith("'''", at)
-                ? text.substring(at, at + 3)
-                : text.substring(at, at + 1);
-        at += quote.length();
-        StringBuilder s = new StringBuilder();
-        ByteArrayOutputStream b = new ByteArrayOutputStream();
-        while (!text.startsWith(quote, at)) {
-            if (at >= text.length() || (quote.length() == 1 && (peek(0) == '\n' || peek(0) == '\r'))) {
-                throw fault(from, "a string without an end");
+    private Object string(int prefixLength) throws ExpressionException {
+        int start = position;
+        String prefix = text.substring(position, position + prefixLength).toLowerCase(Locale.ROOT);
+        position += prefixLength;
+        boolean isRaw = prefix.contains("r");
+        boolean isBytes = prefix.contains("b");
+        String quote = quote();
+        position += quote.length();
+        StringBuilder characters = new StringBuilder();
+        ByteArrayOutputStream octets = new ByteArrayOutputStream();
+        while (!text.startsWith(quote, position)) {
+            boolean isLineEnd = peek() == '\n' || peek() == '\r';
+            if (position >= text.length() || (quote.length() == 1 && isLineEnd)) {
+                throw fault(start, "a string without an end");
             }
-            if (peek(0) == '\\' && !raw) {
-                escape(bytes, s, b);
+            if (peek() == '\\' && !isRaw) {
+                escape(isBytes, characters, octets);
             } else {
-                int c = text.codePointAt(at);
-                at += Character.charCount(c);
-                s.appendCodePoint(c);
-                b.writeBytes(Character.toString(c).getBytes(StandardCharsets.UTF_8));
+                int codePoint = text.codePointAt(position);
+                position += Character.charCount(codePoint);
+                characters.appendCodePoint(codePoint);
+                octets.writeBytes(utf8(codePoint));
             }
         }
-        at += quote.length();
-        return bytes ? new ByteSequence(b.toByteArray()) : s.toString();
-    }
-
-    private void escape(boolean bytes, StringBuilder s, ByteArrayOutputStream b) throws ExpressionException {
-        int from = at++;
-        char c = peek(0);
-        at++;
-        int plain = "abfnrtv\\?\"'`".indexOf(c);
-        int code;
-        if (c != '\0' && plain >= 0) {
-            code = "\u0007\b\f\n\r\t\u000b\\?\"'`".charAt(plain);
-        } else if (c == 'x' || c == 'X') {
-            code = digits(2, 16, from);
-        } else if (c == 'u' && !bytes) {
-            code = digits(4, 16, from);
-        } else if (c == 'U' && !bytes) {
-            code = digits(8, 16, from);
-        } else if (c >= '0' && c <= '3') {
-            at--;
-            code = digits(3, 8, from);
+        position += quote.length();
+        return isBytes ? new ByteSequence(octets.toByteArray()) : characters.toString();
+    }
+
+    /** The quote that begins here, of one character or three. */
+    private String quote() {
+        boolean isTriple = text.startsWith("\"\"\"", position) || text.startsWith("'''", position);
+        return text.substring(position, position + (isTriple ? 3 : 1));
+    }
+
+    private void escape(boolean isBytes, StringBuilder characters, ByteArrayOutputStream octets)
+            throws ExpressionException {
+        int start = position;
+        char letter = peek(1);
+        position += 2;
+        int codePoint = escapedCodePoint(letter, isBytes, start);
+        boolean isSurrogate = codePoint >= Character.MIN_SURROGATE && codePoint <= Character.MAX_SURROGATE;
+        if (!Character.isValidCodePoint(codePoint) || isSurrogate) {
+            throw fault(start, "an escape of no character");
+        }
+        characters.appendCodePoint(codePoint);
+        boolean isOctet = letter == 'x' || letter == 'X' || isDigit(letter);
+        if (isBytes && isOctet) {
+            octets.write(codePoint);
         } else {
-            throw fault(from, "an escape that is none");
+            octets.writeBytes(utf8(codePoint));
+        }
+    }
+
+    private int escapedCodePoint(char letter, boolean isBytes, int start) throws ExpressionException {
+        int index = ESCAPE_LETTERS.indexOf(letter);
+        if (index >= 0) {
+            return ESCAPED_CHARACTERS.charAt(index);
         }
-        if (!Character.isValidCodePoint(code) || (code >= 0xd800 && code <= 0xdfff)) {
-            throw fault(from, "an escape of no character");
+        if (letter == 'x' || letter == 'X') {
+            return escapeDigits(2, 16, start);
         }
-        s.appendCodePoint(code);
-        if (bytes && (c == 'x' || c == 'X' || isDigit(c))) {
-            b.write(code); // an octet, not a character
-        } else {
-            b.writeBytes(Character.toString(code).getBytes(StandardCharsets.UTF_8));
+        if (letter == 'u' && !isBytes) {
+            return escapeDigits(4, 16, start);
+        }
+        if (letter == 'U' && !isBytes) {
+            return escapeDigits(8, 16, start);
         }
+        if (letter >= '0' && letter <= '3') {
+            position--; // it is the first of the digits
+            return escapeDigits(3, 8, start);
+        }
+        throw fault(start, "an escape that is none");
     }
 
-    private int digits(int count, int radix, int from) throws ExpressionException {
+    private int escapeDigits(int count, int radix, int start) throws ExpressionException {
         int value = 0;
-        for (int i = 0; i < count; i++, at++) {
-            int d = peek(0) < 128 ? Character.digit(peek(0), radix) : -1;
-            if (d < 0 || value >= 1 << 26) {
-                throw fault(from, "an escape that is cut short");
+        for (int i = 0; i < count; i++) {
+            int digit = peek() < ASCII_LIMIT ? Character.digit(peek(), radix) : -1;
+            if (digit < 0 || value >= MAX_ESCAPE_PREFIX) {
+                throw fault(start, "an escape that is cut short");
             }
-            value = value * radix + d;
+            value = value * radix + digit;
+            position++;
         }
         return value;
     }
+
+    private static byte[] utf8(int codePoint) {
+        return Character.toString(codePoint).getBytes(StandardCharsets.UTF_8);
+    }
 }
--- a/src/main/java/elderseam/rules/cel/NameResolver.java
+++ b/src/main/java/elderseam/rules/cel/NameResolver.java
@@ -3,12 +3,13 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Puts selections together to names: {@code request.method} is one name where the scope declares it (the longest that it does;
- * CEL specification, "Name Resolution"), and {@code body.lease.month} one field where {@code body} is open. A macro's variable
- * hides names that begin with it.
+ * Turns chains of selections into identifiers: {@code request.method} becomes one if the scope declares it (the longest chain that it
+ * does; CEL specification, "Name Resolution"), and {@code body.lease.month} becomes a field if {@code body} is open. A variable of a
+ * comprehension hides names that begin with it.
  */
 final class NameResolver {
     private final Scope scope;
@@ -18,72 +19,83 @@
         this.scope = scope;
     }
 
-    static Ast names(Ast tree, Scope scope) {
-        return new NameResolver(scope).of(tree);
+    /** The tree with its names resolved; declares the fields of open names that it selects. */
+    static Ast resolve(Ast tree, Scope scope) {
+        return new NameResolver(scope).resolve(tree);
     }
 
-    private List<Ast> all(List<Ast> nodes) {
-        return nodes.stream().map(this::of).toList();
+    private List<Ast> resolveAll(List<Ast> nodes) {
+        List<Ast> resolved = new ArrayList<>(nodes.size());
+        for (Ast node : nodes) {
+            resolved.add(resolve(node));
+        }
+        return resolved;
     }
 
-    private Ast of(Ast a) {
-        if (a instanceof Ast.Select || (a instanceof Ast.Call c && c.function().equals("[]"))) {
-            Ast name = name(a);
-            if (name != null) {
-                return name;
+    private Ast resolve(Ast node) {
+        if (node instanceof Ast.Select || Operators.isIndex(node)) {
+            Optional<Ast> name = resolveChain(node);
+            if (name.isPresent()) {
+                return name.get();
             }
         }
-        if (a instanceof Ast.Select x) {
-            return new Ast.Select(of(x.of()), x.field(), x.has(), x.at());
+        if (node instanceof Ast.Select select) {
+            return new Ast.Select(resolve(select.operand()), select.field(), select.testOnly(), select.position());
         }
-        if (a instanceof Ast.Call x) {
-            return new Ast.Call(x.function(), x.method(), all(x.args()), x.at());
+        if (node instanceof Ast.Call call) {
+            return new Ast.Call(call.function(), call.receiverStyle(), resolveAll(call.arguments()), call.position());
         }
-        if (a instanceof Ast.ListOf x) {
-            return new Ast.ListOf(all(x.items()), x.at());
+        if (node instanceof Ast.CreateList list) {
+            return new Ast.CreateList(resolveAll(list.items()), list.position());
         }
-        if (a instanceof Ast.MapOf x) {
-            return new Ast.MapOf(all(x.keys()), all(x.values()), x.at());
+        if (node instanceof Ast.CreateMap map) {
+            return new Ast.CreateMap(resolveAll(map.keys()), resolveAll(map.values()), map.position());
         }
-        if (a instanceof Ast.Each x) {
-            Ast range = of(x.range());
-            boolean fresh = variables.add(x.variable());
-            Ast filter = x.filter() == null ? null : of(x.filter()), body = of(x.body());
-            if (fresh) {
-                variables.remove(x.variable());
-            }
-            return new Ast.Each(x.macro(), range, x.variable(), filter, body, x.at());
+        return node instanceof Ast.Comprehension comprehension ? resolveComprehension(comprehension) : node;
+    }
+
+    private Ast resolveComprehension(Ast.Comprehension comprehension) {
+        Ast range = resolve(comprehension.range());
+        String variable = comprehension.variable();
+        boolean isNew = variables.add(variable);
+        Ast filter = comprehension.filter() == null ? null : resolve(comprehension.filter());
+        Ast body = resolve(comprehension.body());
+        if (isNew) {
+            variables.remove(variable);
         }
-        return a;
+        return new Ast.Comprehension(comprehension.macro(), range, variable, filter, body, comprehension.position());
     }
 
-    /** The name that a chain is, or null. */
-    private Ast name(Ast a) {
+    /** The identifier, or the test for its presence, that a whole chain of selections stands for; empty if it stands for none. */
+    private Optional<Ast> resolveChain(Ast chain) {
         List<String> path = new ArrayList<>();
-        Ast at = a;
-        while (true) {
-            if (at instanceof Ast.Select s && (!s.has() || at == a)) {
-                path.add(0, s.field());
-                at = s.of();
-            } else if (at instanceof Ast.Call c
-                    && c.function().equals("[]")
-                    && c.args().get(1) instanceof Ast.Literal l
-                    && l.value() instanceof String s) {
-                path.add(0, s);
-                at = c.args().get(0);
+        Ast operand = chain;
+        boolean isChain = true;
+        while (isChain) {
+            if (operand instanceof Ast.Select select && (!select.testOnly() || operand == chain)) {
+                path.add(0, select.field());
+                operand = select.operand();
+            } else if (operand instanceof Ast.Call call
+                    && call.is(Operators.INDEX)
+                    && call.argument(1) instanceof Ast.Literal literal
+                    && literal.value() instanceof String key) {
+                path.add(0, key);
+                operand = call.argument(0);
             } else {
-                break;
+                isChain = false;
             }
         }
-        if (!(at instanceof Ast.Name root) || variables.contains(root.name())) {
-            return null;
+        if (!(operand instanceof Ast.Identifier root) || variables.contains(root.name())) {
+            return Optional.empty();
         }
-        boolean has = a instanceof Ast.Select s && s.has();
-        if (scope.open(root.name())) {
-            Ast.Name field = new Ast.Name(scope.field(root.name(), path), a.at());
-            return has ? new Ast.Present(field, a.at()) : field;
+        boolean isTest = chain instanceof Ast.Select select && select.testOnly();
+        if (scope.isOpen(root.name())) {
+            Ast.Identifier field = new Ast.Identifier(scope.field(root.name(), path), chain.position());
+            return Optional.of(isTest ? new Ast.PresenceTest(field, chain.position()) : field);
         }
-        String whole = root.name() + "." + String.join(".", path);
-        return a instanceof Ast.Select && !has && scope.get(whole) != null ? new Ast.Name(whole, root.at()) : null;
+        String name = root.name() + "." + String.join(".", path);
+        return chain instanceof Ast.Select && !isTest && scope.get(name) != null
+                ? Optional.of(new Ast.Identifier(name, root.position()))
+                : Optional.empty();
     }
 }
--- a/src/main/java/elderseam/rules/cel/Program.java
+++ b/src/main/java/elderseam/rules/cel/Program.java
@@ -1,74 +1,60 @@
 package elderseam.rules.cel;
 
 /**
- * An expression compiled: a closed tree of small steps, each made for the types that it meets, so that bools, ints and doubles go
- * from step to step unboxed and nothing is looked up by name. Counts as the reference does, though only what its inputs can make
- * larger: texts, lists and the rounds of comprehensions.
+ * A compiled expression: a tree of small steps, each made for the types that it meets, so that bools, ints and doubles pass from step to
+ * step unboxed and nothing is looked up by name.
+ *
+ * <p>It counts costs as the reference does, but only those that grow with the inputs: strings, lists and iterations of comprehensions.
+ *
+ * <p>Immutable; the state of an evaluation is in its {@link EvaluationInputs}.
  */
 public final class Program {
-    interface Truth {
-        boolean of(EvaluationInputs in);
-    }
-
-    interface Whole {
-        long of(EvaluationInputs in);
-    }
-
-    interface Real {
-        double of(EvaluationInputs in);
-    }
-
-    /** Any value; where it ends in an error that is left in the inputs, and null given. */
-    interface Any {
-        Object of(EvaluationInputs in);
-    }
-
-    private final Any any;
-    private final Truth truth;
-    private final Whole whole;
-    private final Real real;
+    private final ValueStep valueStep;
+    private final BoolStep boolStep;
+    private final IntStep intStep;
+    private final DoubleStep doubleStep;
     private final long budget;
 
-    Program(Any any, Truth truth, Whole whole, Real real, long budget) {
-        this.any = any;
-        this.truth = truth;
-        this.whole = whole;
-        this.real = real;
+    Program(ValueStep valueStep, BoolStep boolStep, IntStep intStep, DoubleStep doubleStep, long budget) {
+        this.valueStep = valueStep;
+        this.boolStep = boolStep;
+        this.intStep = intStep;
+        this.doubleStep = doubleStep;
         this.budget = budget;
     }
 
-    /** Of one that gives a bool; false with an error. */
-    public boolean truth(EvaluationInputs in) {
-        in.begin(budget);
-        boolean v = truth.of(in);
-        return !failed(in) && v;
+    /** Evaluates an expression that gives a bool; false with an error. */
+    public boolean boolValue(EvaluationInputs inputs) {
+        inputs.begin(budget);
+        boolean value = boolStep.evaluate(inputs);
+        return !hasFailed(inputs) && value;
     }
 
-    /** Of one that gives an int; 0 with an error. */
-    public long whole(EvaluationInputs in) {
-        in.begin(budget);
-        long v = whole.of(in);
-        return failed(in) ? 0 : v;
+    /** Evaluates an expression that gives an int; 0 with an error. */
+    public long intValue(EvaluationInputs inputs) {
+        inputs.begin(budget);
+        long value = intStep.evaluate(inputs);
+        return hasFailed(inputs) ? 0 : value;
     }
 
-    /** Of one that gives a double; 0 with an error. */
-    public double real(EvaluationInputs in) {
-        in.begin(budget);
-        double v = real.of(in);
-        return failed(in) ? 0 : v;
+    /** Evaluates an expression that gives a double; 0 with an error. */
+    public double doubleValue(EvaluationInputs inputs) {
+        inputs.begin(budget);
+        double value = doubleStep.evaluate(inputs);
+        return hasFailed(inputs) ? 0 : value;
     }
 
-    /** Of any; the {@link EvaluationError} with an error. */
-    public Object value(EvaluationInputs in) {
-        in.begin(budget);
-        Object v = any.of(in);
-        return failed(in) ? in.error : v;
+    /** Evaluates any expression; gives the {@link EvaluationError} with an error. */
+    public Object value(EvaluationInputs inputs) {
+        inputs.begin(budget);
+        Object value = valueStep.evaluate(inputs);
+        return hasFailed(inputs) ? inputs.error : value;
     }
 
-    private static boolean failed(EvaluationInputs in) {
-        if (in.over()) {
-            in.error = EvaluationError.COST; // which nothing absorbs
+    private static boolean hasFailed(EvaluationInputs inputs) {
+        if (inputs.isOverBudget()) {
+            inputs.error = EvaluationError.BUDGET_EXCEEDED; // which nothing absorbs
         }
-        return in.error != null;
+        return inputs.error != null;
     }
 }
