--- a/src/main/java/elderseam/rules/cel/Scope.java
+++ b/src/main/java/elderseam/rules/cel/Scope.java
@@ -5,71 +5,83 @@
 import java.util.Map;
 
 /**
- * The names that an expression may use: their types, how large they may be, and their numbers, from 0 in the order in which they
- * were declared, by which {@link EvaluationInputs} is asked. An open name has fields that nobody declared: each that an expression picks is
- * a name of its own, of type dyn. Not changed any more once inputs are made for it.
+ * The names that an expression may use: their types, how large their values may be, and their numbers, counted from 0 in the order of
+ * declaration, by which {@link EvaluationInputs} is asked for values.
+ *
+ * <p>An open name has fields that nobody declared. Each that an expression selects is declared then, as a name of its own of type dyn.
+ *
+ * <p>Not thread-safe; to be left unchanged once inputs are made for it.
  */
 public final class Scope {
-    record Declared(Type type, ValueSize size, int number) {}
+    private static final int NOT_DECLARED = -1;
 
-    private final Map<String, Declared> names = new LinkedHashMap<>();
-    private final Map<String, ValueSize> open = new LinkedHashMap<>();
-    private final Map<Integer, List<String>> fields = new LinkedHashMap<>();
+    /**
+     * A declared name.
+     *
+     * @param size the largest that its value may be
+     */
+    record Declaration(Type type, ValueSize size, int number) {}
 
-    public Scope name(String name, Type type, ValueSize most) {
-        names.put(name, new Declared(type, most, names.size()));
+    private final Map<String, Declaration> declarations = new LinkedHashMap<>();
+    private final Map<String, ValueSize> openNames = new LinkedHashMap<>();
+    private final Map<Integer, List<String>> fieldPaths = new LinkedHashMap<>();
+
+    /** Declares a name of a type, whose value is no larger than {@code maxSize}. Returns this scope. */
+    public Scope name(String name, Type type, ValueSize maxSize) {
+        declarations.put(name, new Declaration(type, maxSize, declarations.size()));
         return this;
     }
 
-    /** Any field of this name may be picked; each is no larger than that. */
-    public Scope open(String name, ValueSize most) {
-        open.put(name, most);
+    /** Declares an open name: any field of it may be selected, and each is no larger than {@code maxSize}. Returns this scope. */
+    public Scope open(String name, ValueSize maxSize) {
+        openNames.put(name, maxSize);
         return this;
     }
 
-    boolean open(String name) {
-        return open.containsKey(name);
+    boolean isOpen(String name) {
+        return openNames.containsKey(name);
     }
 
-    /** The name of a field of an open name. */
-    String field(String root, List<String> path) {
-        String name = root + "."
-                + String.join(
-                        ".",
-                        path.stream()
-                                .map(p -> p.replace("\\", "\\\\").replace(".", "\\."))
-                                .toList());
-        if (!names.containsKey(name)) {
-            fields.put(names.size(), List.copyOf(path));
-            name(name, Type.Plain.DYN, open.get(root));
+    /** The name of a field of an open name, which it declares if no expression has selected it before. */
+    String field(String openName, List<String> path) {
+        StringBuilder name = new StringBuilder(openName);
+        for (String part : path) {
+            name.append('.').append(part.replace("\\", "\\\\").replace(".", "\\."));
+        }
+        String fieldName = name.toString();
+        if (!declarations.containsKey(fieldName)) {
+            fieldPaths.put(declarations.size(), List.copyOf(path));
+            name(fieldName, Type.Plain.DYN, openNames.get(openName));
         }
-        return name;
+        return fieldName;
     }
 
-    /** The fields that were picked, by the numbers of their names. */
+    /** The paths of the fields of open names that expressions selected, by the numbers of their names. */
     public Map<Integer, List<String>> fields() {
-        return Map.copyOf(fields);
+        return Map.copyOf(fieldPaths);
     }
 
-    /** The number of a name, or -1. */
+    /** The number of a name, or -1 if it isn't declared. */
     public int number(String name) {
-        Declared d = names.get(name);
-        return d == null ? -1 : d.number;
+        Declaration declaration = declarations.get(name);
+        return declaration == null ? NOT_DECLARED : declaration.number;
     }
 
+    /** How many names are declared, fields of open names included. */
     public int size() {
-        return names.size();
+        return declarations.size();
     }
 
-    Declared get(String name) {
-        return names.get(name);
+    /** The declaration of a name; null if there is none. */
+    Declaration get(String name) {
+        return declarations.get(name);
     }
 
-    /** The names as an operator may write them, with their types. */
+    /** The names as an operator may write them, with their types, in the order of declaration; open names last, as {@code name.FIELD}. */
     public Map<String, Type> all() {
-        Map<String, Type> all = new LinkedHashMap<>();
-        names.forEach((name, d) -> all.put(name, d.type));
-        open.keySet().forEach(name -> all.put(name + ".FIELD", Type.Plain.DYN));
-        return all;
+        Map<String, Type> types = new LinkedHashMap<>();
+        declarations.forEach((name, declaration) -> types.put(name, declaration.type));
+        openNames.keySet().forEach(name -> types.put(name + ".FIELD", Type.Plain.DYN));
+        return types;
     }
 }
--- a/src/main/java/elderseam/rules/cel/StringSteps.java
+++ b/src/main/java/elderseam/rules/cel/StringSteps.java
@@ -1,104 +1,123 @@
 package elderseam.rules.cel;
 
 import com.google.re2j.Pattern;
-import elderseam.rules.cel.Program.Any;
-import elderseam.rules.cel.Program.Truth;
-import elderseam.rules.cel.Program.Whole;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
-/** Steps over strings; they allocate nothing but the strings that they put together. */
+/** Steps of strings. They allocate nothing but the strings that they concatenate. */
 final class StringSteps {
+    private static final int CHARS_PER_UNIT = ValueSize.CHARS_PER_UNIT;
+    /** See {@link CostModel}: how many looks of a pattern's state at a character cost one unit. */
+    private static final int PATTERN_STATES_PER_UNIT = CostModel.PATTERN_STATES_PER_UNIT;
+
     private StringSteps() {}
 
-    /** The string of a step, or null with an error. */
-    private static String text(EvaluationInputs in, Any of) {
-        Object v = of.of(in);
-        if (v instanceof String s) {
-            return s;
+    /** The string that a step gives; null if it failed, or gave something else, which fails the evaluation. */
+    private static String text(EvaluationInputs inputs, ValueStep step) {
+        Object value = step.evaluate(inputs);
+        if (value instanceof String string) {
+            return string;
         }
-        in.fail(EvaluationError.NO_OVERLOAD); // unless there is an error already
+        inputs.fail(EvaluationError.NO_SUCH_OVERLOAD); // which keeps an earlier error
         return null;
     }
 
-    static Truth test(String function, Any x, Any y) {
-        return switch (function) {
-            case "startsWith" ->
-                in -> {
-                    String a = text(in, x), b = a == null ? null : text(in, y);
-                    return b != null && in.spend(2 + b.length() / 16) && a.startsWith(b);
-                };
-            case "endsWith" ->
-                in -> {
-                    String a = text(in, x), b = a == null ? null : text(in, y);
-                    return b != null && in.spend(2 + b.length() / 16) && a.endsWith(b);
-                };
-            default ->
-                in -> {
-                    String a = text(in, x), b = a == null ? null : text(in, y);
-                    return b != null
-                            && in.spend(2 + a.length() / 16 + (long) a.length() * b.length() / 16)
-                            && a.contains(b);
-                };
+    static BoolStep startsWith(ValueStep receiver, ValueStep argument) {
+        return inputs -> {
+            String text = text(inputs, receiver);
+            String prefix = text == null ? null : text(inputs, argument);
+            return prefix != null && inputs.charge(2 + prefix.length() / CHARS_PER_UNIT) && text.startsWith(prefix);
+        };
+    }
+
+    static BoolStep endsWith(ValueStep receiver, ValueStep argument) {
+        return inputs -> {
+            String text = text(inputs, receiver);
+            String suffix = text == null ? null : text(inputs, argument);
+            return suffix != null && inputs.charge(2 + suffix.length() / CHARS_PER_UNIT) && text.endsWith(suffix);
+        };
+    }
+
+    static BoolStep contains(ValueStep receiver, ValueStep argument) {
+        return inputs -> {
+            String text = text(inputs, receiver);
+            String part = text == null ? null : text(inputs, argument);
+            if (part == null) {
+                return false;
+            }
+            long comparisons = (long) text.length() * part.length();
+            long cost = 2 + text.length() / CHARS_PER_UNIT + comparisons / CHARS_PER_UNIT;
+            return inputs.charge(cost) && text.contains(part);
         };
     }
 
-    static Truth matches(Any x, Pattern pattern) {
-        int length = pattern.pattern().length();
-        return in -> {
-            String a = text(in, x);
-            return a != null
-                    && in.spend(1 + (1L + a.length()) * (1 + length) / 4)
-                    && pattern.matcher(a).find();
+    static BoolStep matches(ValueStep receiver, Pattern pattern) {
+        int patternLength = pattern.pattern().length();
+        return inputs -> {
+            String text = text(inputs, receiver);
+            return text != null
+                    && inputs.charge(1 + (1L + text.length()) * (1 + patternLength) / PATTERN_STATES_PER_UNIT)
+                    && pattern.matcher(text).find();
         };
     }
 
-    /** In a constant list; one of strings alone is looked up by hash. */
-    static Truth among(Any x, List<?> list) {
+    /** {@code item in list}, of a constant list. One of strings alone is looked up by hash. */
+    static BoolStep in(ValueStep item, List<?> list) {
         if (!list.stream().allMatch(String.class::isInstance)) {
-            return in -> {
-                Object v = x.of(in);
-                return in.error == null && generic(in, "in", v, list);
+            return inputs -> {
+                Object value = item.evaluate(inputs);
+                return inputs.error == null && isIn(inputs, value, list);
             };
         }
-        Set<Object> all = new HashSet<>(list);
-        return in -> {
-            String a = text(in, x);
-            return a != null && !all.isEmpty() && in.spend(2 + a.length() / 16) && all.contains(a);
+        Set<Object> strings = new HashSet<>(list);
+        return inputs -> {
+            String text = text(inputs, item);
+            return text != null
+                    && !strings.isEmpty()
+                    && inputs.charge(2 + text.length() / CHARS_PER_UNIT)
+                    && strings.contains(text);
         };
     }
 
-    private static boolean generic(EvaluationInputs in, String function, Object x, Object y) {
-        CostCounter counter = in.counter();
-        Object v = Functions.call(function, new Object[] {x, y}, counter);
-        in.spent(counter);
-        return in.unboxed(v, false);
+    private static boolean isIn(EvaluationInputs inputs, Object item, List<?> list) {
+        CostCounter counter = inputs.counter();
+        Object isIn = CollectionFunctions.contains(list, item, counter);
+        inputs.charge(counter);
+        return inputs.unbox(isIn, false);
     }
 
-    /** Equality where at least one side is known to be a string. */
-    static Truth equal(Any x, Any y, boolean same) {
-        return in -> {
-            Object a = x.of(in);
-            Object b = in.error != null ? null : y.of(in);
-            if (in.error != null) {
+    /** {@code ==} or {@code !=}, where at least one side is known to be a string; {@code expected}: the equality that gives true. */
+    static BoolStep equality(ValueStep left, ValueStep right, boolean expected) {
+        return inputs -> {
+            Object leftValue = left.evaluate(inputs);
+            Object rightValue = inputs.error != null ? null : right.evaluate(inputs);
+            if (inputs.error != null) {
                 return false;
             }
-            return in.spend(2 + (a instanceof String s ? s.length() / 16 : 0)) && a.equals(b) == same;
+            int scanCost = leftValue instanceof String text ? text.length() / CHARS_PER_UNIT : 0;
+            return inputs.charge(2 + scanCost) && leftValue.equals(rightValue) == expected;
         };
     }
 
-    static Any joined(Any x, Any y) {
-        return in -> {
-            String a = text(in, x), b = a == null ? null : text(in, y);
-            return b != null && in.spend(3 + a.length() / 16 + b.length() / 16) ? a.concat(b) : null;
+    static ValueStep concatenate(ValueStep left, ValueStep right) {
+        return inputs -> {
+            String first = text(inputs, left);
+            String second = first == null ? null : text(inputs, right);
+            if (second == null) {
+                return null;
+            }
+            int cost = 3 + first.length() / CHARS_PER_UNIT + second.length() / CHARS_PER_UNIT;
+            return inputs.charge(cost) ? first.concat(second) : null;
         };
     }
 
-    static Whole size(Any x) {
-        return in -> {
-            String a = text(in, x);
-            return a != null && in.spend(1 + a.length() / 16) ? a.codePointCount(0, a.length()) : 0;
+    static IntStep size(ValueStep operand) {
+        return inputs -> {
+            String text = text(inputs, operand);
+            return text != null && inputs.charge(1 + text.length() / CHARS_PER_UNIT)
+                    ? text.codePointCount(0, text.length())
+                    : 0;
         };
     }
 }
--- a/src/main/java/elderseam/rules/cel/Token.java
+++ b/src/main/java/elderseam/rules/cel/Token.java
@@ -1,24 +1,30 @@
 package elderseam.rules.cel;
 
 /**
- * One token. {@code value}: of a literal, decoded; the text of a name or a sign.
+ * A token of an expression.
  *
- * @param at offset of its first character
+ * @param value of a literal its decoded value, else the text of the token
+ * @param position offset of its first character
  */
-record Token(Kind kind, Object value, int at) {
+record Token(Kind kind, Object value, int position) {
+    /** Kinds of tokens. Reserved words are names here; the parser tells them apart. */
     enum Kind {
         NAME,
-        SIGN,
+        SYMBOL,
         LITERAL,
         END
     }
 
-    boolean is(String sign) {
-        return kind == Kind.SIGN && value.equals(sign);
+    boolean isSymbol(String symbol) {
+        return kind == Kind.SYMBOL && value.equals(symbol);
     }
 
-    /** How a fault names it. */
-    String words() {
-        return kind == Kind.END ? "the end" : kind == Kind.LITERAL ? "a literal" : "'" + value + "'";
+    /** The token as fault messages name it. */
+    String describe() {
+        return switch (kind) {
+            case END -> "the end";
+            case LITERAL -> "a literal";
+            case NAME, SYMBOL -> "'" + value + "'";
+        };
     }
 }
--- a/src/main/java/elderseam/rules/cel/Type.java
+++ b/src/main/java/elderseam/rules/cel/Type.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 
-/** Types, as the checker knows them. DYN is not known before evaluation, and goes with each. */
+/** The types of the language, as the type checker knows them. */
 public sealed interface Type {
-    /** Types without parameters. */
+    /** Types without parameters. {@code DYN} is the type of what is known only at evaluation; it is compatible with every type. */
     enum Plain implements Type {
         BOOL("bool"),
         INT("int"),
@@ -17,18 +17,19 @@
         DURATION("duration"),
         DYN("dyn");
 
-        private final String word;
+        private final String text;
 
-        Plain(String word) {
-            this.word = word;
+        Plain(String text) {
+            this.text = text;
         }
 
         @Override
         public String toString() {
-            return word;
+            return text;
         }
     }
 
+    /** Lists of items of one type. */
     record ListType(Type item) implements Type {
         @Override
         public String toString() {
@@ -36,6 +37,7 @@
         }
     }
 
+    /** Maps from keys of one type to values of one type. */
     record MapType(Type key, Type value) implements Type {
         @Override
         public String toString() {
@@ -43,36 +45,42 @@
         }
     }
 
-    /** Whether a value of one may stand where the other is asked for. */
-    static boolean fits(Type given, Type asked) {
-        if (given == Plain.DYN || asked == Plain.DYN || given.equals(asked)) {
+    /** Whether a value of one type may stand where the other is expected, as far as the types tell. */
+    static boolean areCompatible(Type first, Type second) {
+        if (first == Plain.DYN || second == Plain.DYN || first.equals(second)) {
             return true;
         }
-        return (given instanceof ListType g && asked instanceof ListType a && fits(g.item, a.item))
-                || (given instanceof MapType h
-                        && asked instanceof MapType b
-                        && fits(h.key, b.key)
-                        && fits(h.value, b.value));
+        if (first instanceof ListType firstList && second instanceof ListType secondList) {
+            return areCompatible(firstList.item, secondList.item);
+        }
+        return first instanceof MapType firstMap
+                && second instanceof MapType secondMap
+                && areCompatible(firstMap.key, secondMap.key)
+                && areCompatible(firstMap.value, secondMap.value);
     }
 
-    /** The type of what may be any of these: theirs where they agree. */
-    static Type common(List<Type> types) {
-        Type t = null;
-        for (Type x : types) {
-            t = t == null || (t == Plain.DYN && types.stream().allMatch(y -> y == Plain.DYN))
-                    ? x
-                    : t.equals(x) ? t : fits(t, x) && fits(x, t) ? wider(t, x) : Plain.DYN;
+    /** The type of a value that may have any of these types: theirs as far as they agree, else {@code DYN}. */
+    static Type join(List<Type> types) {
+        Type joined = null;
+        for (Type type : types) {
+            joined = joined == null ? type : join(joined, type);
         }
-        return t == null ? Plain.DYN : t;
+        return joined == null ? Plain.DYN : joined;
     }
 
-    private static Type wider(Type a, Type b) {
-        if (a instanceof ListType x && b instanceof ListType y) {
-            return new ListType(wider(x.item, y.item));
+    private static Type join(Type first, Type second) {
+        if (first.equals(second)) {
+            return first;
+        }
+        if (!areCompatible(first, second)) {
+            return Plain.DYN;
+        }
+        if (first instanceof ListType firstList && second instanceof ListType secondList) {
+            return new ListType(join(firstList.item, secondList.item));
         }
-        if (a instanceof MapType x && b instanceof MapType y) {
-            return new MapType(wider(x.key, y.key), wider(x.value, y.value));
+        if (first instanceof MapType firstMap && second instanceof MapType secondMap) {
+            return new MapType(join(firstMap.key, secondMap.key), join(firstMap.value, secondMap.value));
         }
-        return a.equals(b) ? a : Plain.DYN;
+        return Plain.DYN;
     }
 }
--- a/src/main/java/elderseam/rules/cel/UnsignedLong.java
+++ b/src/main/java/elderseam/rules/cel/UnsignedLong.java
@@ -1,10 +1,14 @@
 package elderseam.rules.cel;
 
-/** An unsigned whole number of 64 bits. */
+/**
+ * A value of the type uint.
+ *
+ * @param bits the number, as an unsigned 64-bit integer
+ */
 public record UnsignedLong(long bits) implements Comparable<UnsignedLong> {
     @Override
-    public int compareTo(UnsignedLong o) {
-        return Long.compareUnsigned(bits, o.bits);
+    public int compareTo(UnsignedLong other) {
+        return Long.compareUnsigned(bits, other.bits);
     }
 
     @Override
--- a/src/main/java/elderseam/rules/cel/package-info.java
+++ b/src/main/java/elderseam/rules/cel/package-info.java
@@ -1,7 +1,16 @@
 /**
- * The language of rules: the Common Expression Language, read, typed, bounded and evaluated. Source to tokens ({@code Lexer}) to a
- * tree ({@code Parser}) to a checked tree with a type at each node ({@code Checker}) and a worst-case cost ({@code Bounds});
- * {@code Evaluator} is the reference, a walk over the tree that counts as it goes. No I/O, no clock; knows nothing of the rest of
- * the program.
+ * The Common Expression Language (CEL), in which operators write their rules. An expression passes through these stages:
+ *
+ * <ol>
+ *   <li>{@code Lexer} turns the text into tokens, and {@code Parser} the tokens into a syntax tree ({@code Ast});
+ *   <li>{@code NameResolver} turns chains of selections into the identifiers that the {@link elderseam.rules.cel.Scope} declares;
+ *   <li>{@code Checker} gives each node a type, and {@code CostEstimator} the expression a worst-case cost;
+ *   <li>{@code Planner} compiles the checked tree to a {@link elderseam.rules.cel.Program} of steps, which requests are evaluated with.
+ * </ol>
+ *
+ * <p>{@code Evaluator} is the reference implementation, a walk over the tree; tests compare the compiled form with it and with the
+ * library of CEL's authors. The package does no I/O, reads no clock and depends on no other package of the program.
+ *
+ * <p>Source of syntax and semantics: the CEL specification, https://github.com/google/cel-spec, {@code doc/langdef.md}.
  */
 package elderseam.rules.cel;
--- a/src/test/java/elderseam/rules/RulesFuzzTest.java
+++ b/src/test/java/elderseam/rules/RulesFuzzTest.java
@@ -31,7 +31,7 @@
         Expression.Compiled c =
                 Expression.compile(cut < 0 ? all : all.substring(0, cut), scope, Type.Plain.DYN, SMALL.budget());
         if (c.expression() == null) {
-            c.faults().forEach(f -> f.shown());
+            c.faults().forEach(f -> f.describe());
             return;
         }
         Program program = c.expression().program();
@@ -42,8 +42,8 @@
         a.id = "";
         a.key = "";
         Object v = program.value(a);
-        if (a.spent() > c.expression().bound()) {
-            throw new AssertionError(c.expression().text() + ": " + a.spent() + " of "
+        if (a.cost() > c.expression().bound()) {
+            throw new AssertionError(c.expression().text() + ": " + a.cost() + " of "
                     + c.expression().bound());
         }
         Expression.Outcome o = c.expression().evaluate(name -> a.value(scope.number(name)));
--- a/src/test/java/elderseam/rules/cel/ExpressionTest.java
+++ b/src/test/java/elderseam/rules/cel/ExpressionTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -13,7 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Values, errors, faults and bounds, case by case, as the CEL specification has them. */
+/** Values, errors, faults and cost bounds of single expressions, as the CEL specification defines them. */
 class ExpressionTest {
     private static final Scope SCOPE = new Scope()
             .name("i", Type.Plain.INT, ValueSize.ONE)
@@ -46,23 +48,37 @@
             "x",
             "any");
 
-    private static Expression compiled(String text) {
-        Expression.Compiled c = Expression.compile(text, SCOPE, Type.Plain.DYN, 1_000_000);
-        assertNotNull(c.expression(), () -> text + "\n" + c.faults().get(0).shown());
-        return c.expression();
+    private static final long BUDGET = 1_000_000;
+
+    private static Expression.Compiled compile(String text) {
+        return Expression.compile(text, SCOPE, Type.Plain.DYN, BUDGET);
+    }
+
+    /** The value by the reference and by the compiled program, which agree, at a cost within the bound. */
+    private static Object evaluate(String text) {
+        Expression.Compiled compiled = compile(text);
+        assertNotNull(
+                compiled.expression(),
+                () -> text + "\n" + compiled.faults().get(0).describe());
+        Expression expression = compiled.expression();
+        long bound = expression.bound();
+        Expression.Outcome reference = expression.evaluate(VALUES::get);
+        assertTrue(reference.cost() <= bound, () -> text + ": cost " + reference.cost() + ", bound " + bound);
+        EvaluationInputs inputs = RandomInputs.inputs(SCOPE, VALUES);
+        assertEquals(reference.value(), expression.program().value(inputs), () -> text + ", compiled");
+        assertTrue(inputs.cost() <= bound, () -> text + ": compiled " + inputs.cost() + ", bound " + bound);
+        return reference.value();
+    }
+
+    /** The only fault, or the first one, of an expression that has any. */
+    private static ExpressionFault firstFault(String text, Scope scope, Type expected, long budget) {
+        return Expression.compile(text, scope, expected, budget).faults().get(0);
     }
 
-    private static Object value(String text) {
-        Expression e = compiled(text);
-        Expression.Outcome o = e.evaluate(VALUES::get);
-        assertTrue(o.cost() <= e.bound(), () -> text + ": cost " + o.cost() + ", bound " + e.bound());
-        EvaluationInputs in = DifferentialTest.inputs(SCOPE, VALUES);
-        assertEquals(o.value(), e.program().value(in), () -> text + ", compiled");
-        assertTrue(in.spent() <= e.bound(), () -> text + ": compiled " + in.spent() + ", bound " + e.bound());
-        return o.value();
+    private static String firstLine(ExpressionFault fault) {
+        return fault.describe().split("\n")[0];
     }
 
-    /** Each is an expression that gives true. */
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -188,8 +204,8 @@
                 "x + '!' == 'any!'",
                 "{1: 'a', 2u: 'b'}[2] == 'b'"
             })
-    void gives(String text) {
-        assertEquals(true, value(text), text);
+    void evaluatesToTrue(String text) {
+        assertEquals(true, evaluate(text), text);
     }
 
     @ParameterizedTest
@@ -230,11 +246,11 @@
                 "t + duration('80000000h')|out of range",
                 "timestamp('9999-12-31T23:59:59Z') + duration('1s')|out of range"
             })
-    void errors(String text, String words) {
-        assertEquals(new EvaluationError(words), value(text), text);
+    void evaluatesToError(String text, String message) {
+        assertEquals(new EvaluationError(message), evaluate(text), text);
     }
 
-    /** Where, and what is expected. */
+    /** The beginning of the fault that is reported: where it is, and what is wrong. */
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -278,35 +294,36 @@
                 "b && 1|1:3: && of (bool, int)",
                 "-u|1:1: - of (uint)"
             })
-    void faults(String text, String shown) {
-        Expression.Compiled c = Expression.compile(text, SCOPE, Type.Plain.DYN, 1_000_000);
-        assertEquals(null, c.expression(), text);
-        String first = c.faults().get(0).shown();
-        assertTrue(first.startsWith(shown), first);
+    void reportsFault(String text, String expected) {
+        Expression.Compiled compiled = compile(text);
+        assertNull(compiled.expression(), text);
+        String first = compiled.faults().get(0).describe();
+        assertTrue(first.startsWith(expected), first);
         String[] lines = first.split("\n");
         assertEquals('^', lines[2].charAt(lines[2].length() - 1));
     }
 
     @Test
-    void everyFaultIsTold() {
+    void reportsEveryFault() {
+        List<ExpressionFault> faults = Expression.compile("b &&\nno1 &&\n1  + 'a' == 2", SCOPE, Type.Plain.BOOL, BUDGET)
+                .faults();
         assertEquals(
                 List.of("2:1: no such name 'no1', known: i, u, d, b, s, t, h, l, x, gone", "3:4: + of (int, string)"),
-                Expression.compile("b &&\nno1 &&\n1  + 'a' == 2", SCOPE, Type.Plain.BOOL, 1_000_000).faults().stream()
-                        .map(f -> f.shown().split("\n")[0].split(", expected")[0])
+                faults.stream()
+                        .map(fault -> firstLine(fault).split(", expected")[0])
                         .toList());
+    }
+
+    @Test
+    void reportsAnUnexpectedResultType() {
         assertEquals(
-                "1:1: gives int where bool is expected",
-                Expression.compile("i", SCOPE, Type.Plain.BOOL, 1_000)
-                        .faults()
-                        .get(0)
-                        .shown()
-                        .split("\n")[0]);
+                "1:1: gives int where bool is expected", firstLine(firstFault("i", SCOPE, Type.Plain.BOOL, 1_000)));
     }
 
     /** Nothing that is too deep, too long or too wide runs out of stack, memory or time. */
     @Test
-    void whatIsTooMuchIsRefused() {
-        for (String text : List.of(
+    void rejectsWhatIsTooLarge() {
+        List<String> texts = List.of(
                 "(".repeat(10_000) + "1" + ")".repeat(10_000),
                 "!".repeat(10_000) + "b",
                 "-".repeat(10_000) + "i",
@@ -319,41 +336,51 @@
                 "b" + " && b".repeat(10_000),
                 "x".repeat(10 << 20),
                 "(1" + "+(1".repeat(90) + "+1".repeat(50) + ")".repeat(91),
-                "(".repeat(5) + "1" + ("+1".repeat(99) + ")").repeat(5) + "+1".repeat(60))) {
-            Expression.Compiled c = Expression.compile(text, SCOPE, Type.Plain.DYN, 1_000_000);
-            assertTrue(c.expression() == null || text.length() < 2_000, () -> "taken: " + text.substring(0, 40));
+                "(".repeat(5) + "1" + ("+1".repeat(99) + ")").repeat(5) + "+1".repeat(60));
+        for (String text : texts) {
+            boolean isRejected = compile(text).expression() == null;
+            assertTrue(isRejected || text.length() < 2_000, () -> "accepted: " + text.substring(0, 40));
         }
-        assertEquals(499L, value("1" + "+1".repeat(98) + "+(1" + "+1".repeat(99) + ")+300"));
-        assertEquals(true, value("b" + " && b".repeat(400)));
     }
 
-    /** A cost above the budget names the part; comprehensions inside comprehensions multiply. */
     @Test
-    void theBoundNamesThePart() {
+    void acceptsLongChains() {
+        assertEquals(499L, evaluate("1" + "+1".repeat(98) + "+(1" + "+1".repeat(99) + ")+300"));
+        assertEquals(true, evaluate("b" + " && b".repeat(400)));
+    }
+
+    /** The fault of an expression above its budget is at the outermost comprehension of nested ones, whose costs multiply. */
+    @Test
+    void reportsThePartThatCostsTooMuch() {
         String text = "b && l.all(a, l.all(c, l.all(e, l.exists(f, a + c + e + f > 0))))";
-        ExpressionFault f = Expression.compile(text, SCOPE, Type.Plain.BOOL, 100_000)
-                .faults()
-                .get(0);
-        assertTrue(f.words().matches("may cost \\d+ units, allowed: 100000"), f.words());
-        assertEquals(text.indexOf(".all(a") + 2, f.column());
+        ExpressionFault fault = firstFault(text, SCOPE, Type.Plain.BOOL, 100_000);
+        assertTrue(fault.message().matches("may cost \\d+ units, allowed: 100000"), fault.message());
+        assertEquals(text.indexOf(".all(a") + 2, fault.column());
         assertNotNull(
                 Expression.compile(text, SCOPE, Type.Plain.BOOL, 10_000_000).expression());
-        Scope large = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(1L << 40, ValueSize.ONE));
-        assertTrue(Expression.compile("m.all(a, m.all(c, a == c))", large, Type.Plain.BOOL, 1 << 20)
-                .faults()
-                .get(0)
-                .words()
-                .contains("without end"));
     }
 
-    /** An input larger than it was declared ends in an error, not in a stall. */
     @Test
-    void aWrongBoundIsAnError() {
-        Scope small = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(3, ValueSize.ONE));
-        Expression.Compiled c = Expression.compile("m.all(a, m.all(c, a + c > 0))", small, Type.Plain.BOOL, 200);
-        List<Object> many = java.util.Collections.nCopies(1_000_000, 1L);
-        assertEquals(EvaluationError.COST, c.expression().evaluate(n -> many).value());
-        assertEquals(true, c.expression().evaluate(n -> List.of(1L, 2L, 3L)).value());
-        assertEquals(Duration.ofMinutes(90), value("duration('1.5h')"));
+    void reportsACostWithoutBound() {
+        Scope scope = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(1L << 40, ValueSize.ONE));
+        ExpressionFault fault = firstFault("m.all(a, m.all(c, a == c))", scope, Type.Plain.BOOL, 1 << 20);
+        assertTrue(fault.message().contains("without end"), fault.message());
+    }
+
+    @Test
+    void inputsAboveTheirDeclaredSizeEndInAnError() {
+        Scope scope = new Scope().name("m", new Type.ListType(Type.Plain.INT), ValueSize.list(3, ValueSize.ONE));
+        Expression expression = Expression.compile("m.all(a, m.all(c, a + c > 0))", scope, Type.Plain.BOOL, 200)
+                .expression();
+        List<Object> tooMany = Collections.nCopies(1_000_000, 1L);
+        assertEquals(
+                EvaluationError.BUDGET_EXCEEDED,
+                expression.evaluate(name -> tooMany).value());
+        assertEquals(true, expression.evaluate(name -> List.of(1L, 2L, 3L)).value());
+    }
+
+    @Test
+    void readsFractionsOfDurations() {
+        assertEquals(Duration.ofMinutes(90), evaluate("duration('1.5h')"));
     }
 }
