--- a/src/main/java/elderseam/app/ActiveVersion.java
+++ b/src/main/java/elderseam/app/ActiveVersion.java
@@ -32,7 +32,7 @@
             ConfigurationVersion last, Clock clock, long boundMs, ClockDriftBound driftBound, boolean neverInDoubt) {
         this.rule = new VersionActivation(last, boundMs, driftBound);
         this.clock = clock;
-        this.boundNs = boundMs * Clock.MS;
+        this.boundNs = boundMs * Clock.MILLISECOND_NS;
         this.neverInDoubt = neverInDoubt;
     }
 
@@ -103,7 +103,7 @@
     List<String> statusLines() {
         synchronized (rule) {
             OptionalLong ageNs = rule.confirmationAgeNs(clock.now());
-            String confirmedMs = ageNs.isEmpty() ? "never" : Long.toString(ageNs.getAsLong() / Clock.MS);
+            String confirmedMs = ageNs.isEmpty() ? "never" : Long.toString(ageNs.getAsLong() / Clock.MILLISECOND_NS);
             String next = rule.scheduled()
                     .map(version -> Long.toString(version.number()))
                     .orElse("none");
--- a/src/main/java/elderseam/app/ClassArchiveTraining.java
+++ b/src/main/java/elderseam/app/ClassArchiveTraining.java
@@ -30,13 +30,13 @@
     private static final EventLogger LOG = EventLogger.of(ClassArchiveTraining.class);
 
     private static final int REQUESTS = 120;
-    private static final long CLIENT_IDLE_NS = 10_000 * Clock.MS;
-    private static final long START_DELAY_NS = 300 * Clock.MS;
-    private static final long REQUEST_TIMEOUT_NS = 500 * Clock.MS;
-    private static final long REQUEST_INTERVAL_NS = 5 * Clock.MS;
-    private static final long END_DELAY_NS = 1_500 * Clock.MS;
-    private static final long DISCOVERY_DELAY_NS = 200 * Clock.MS;
-    private static final long ANSWER_DELAY_NS = Clock.MS;
+    private static final long CLIENT_IDLE_NS = 10_000 * Clock.MILLISECOND_NS;
+    private static final long START_DELAY_NS = 300 * Clock.MILLISECOND_NS;
+    private static final long REQUEST_TIMEOUT_NS = 500 * Clock.MILLISECOND_NS;
+    private static final long REQUEST_INTERVAL_NS = 5 * Clock.MILLISECOND_NS;
+    private static final long END_DELAY_NS = 1_500 * Clock.MILLISECOND_NS;
+    private static final long DISCOVERY_DELAY_NS = 200 * Clock.MILLISECOND_NS;
+    private static final long ANSWER_DELAY_NS = Clock.MILLISECOND_NS;
 
     private static final int MAX_CLIENT_CONNECTIONS = 8;
     private static final int MAX_CLIENT_ANSWER_BYTES = 1 << 10;
--- a/src/main/java/elderseam/app/ClientDrain.java
+++ b/src/main/java/elderseam/app/ClientDrain.java
@@ -13,9 +13,9 @@
     private static final EventLogger LOG = EventLogger.of(ClientDrain.class);
 
     /** Idle connections are closed from so long after the drain began on. */
-    private static final long IDLE_GRACE_NS = 700 * Clock.MS;
+    private static final long IDLE_GRACE_NS = 700 * Clock.MILLISECOND_NS;
 
-    private static final long IDLE_CHECK_INTERVAL_NS = 50 * Clock.MS;
+    private static final long IDLE_CHECK_INTERVAL_NS = 50 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final Lifecycle lifecycle;
--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -35,9 +35,9 @@
     private static final int MAX_CHALLENGE_BODY_BYTES = 1 << 10;
 
     /** How long an unknown challenge waits to be heard of from the member that orders. */
-    private static final long CHALLENGE_WAIT_NS = 1_500 * Clock.MS;
+    private static final long CHALLENGE_WAIT_NS = 1_500 * Clock.MILLISECOND_NS;
 
-    private static final long CHALLENGE_CHECK_INTERVAL_NS = 50 * Clock.MS;
+    private static final long CHALLENGE_CHECK_INTERVAL_NS = 50 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final EventConfiguration events;
--- a/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
+++ b/src/main/java/elderseam/app/DispatcherRuleEnvironment.java
@@ -13,7 +13,7 @@
  * #MAX_AGE_NS}. Confined to the I/O thread.
  */
 final class DispatcherRuleEnvironment implements RuleEnvironment {
-    private static final long MAX_AGE_NS = 50 * Clock.MS;
+    private static final long MAX_AGE_NS = 50 * Clock.MILLISECOND_NS;
 
     /** Before any reading of the clock, and still not so far that a difference overflows. */
     private static final long NEVER_NS = Long.MIN_VALUE / 2;
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -307,11 +307,11 @@
 
     private void onReady() {
         lifecycle.markStarted();
-        long readyAfterMs = (io.clock.now() - startup.startedNs()) / Clock.MS;
+        long readyAfterMs = (io.clock.now() - startup.startedNs()) / Clock.MILLISECOND_NS;
         LOG.info(
                 "server.ready",
                 field("after_ms", readyAfterMs),
-                field("longest_stall_ms", io.longestStallNs() / Clock.MS));
+                field("longest_stall_ms", io.longestStallNs() / Clock.MILLISECOND_NS));
         if (startup.control() != null) {
             transfer.listen(config.stateDirectory());
         }
--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -94,7 +94,7 @@
     }
 
     private static OwnBreaker ownReport(long destination, BreakerView breaker) {
-        long waitMs = Math.max(0, Math.min(Integer.MAX_VALUE, breaker.waitNs() / Clock.MS));
+        long waitMs = Math.max(0, Math.min(Integer.MAX_VALUE, breaker.waitNs() / Clock.MILLISECOND_NS));
         return new OwnBreaker(
                 destination, REPORTED_STATES.get(breaker.state()), (int) waitMs, breaker.calls(), breaker.failures());
     }
--- a/src/main/java/elderseam/app/GracefulShutdown.java
+++ b/src/main/java/elderseam/app/GracefulShutdown.java
@@ -18,20 +18,20 @@
     private static final EventLogger LOG = EventLogger.of(GracefulShutdown.class);
 
     /** Clients may still connect for so long after SIGTERM. */
-    static final long ACCEPT_GRACE_NS = 500 * Clock.MS;
+    static final long ACCEPT_GRACE_NS = 500 * Clock.MILLISECOND_NS;
 
     /** Requests settle within this; SIGKILL follows from 3.7 s after SIGTERM on. */
-    private static final long SETTLE_LIMIT_NS = 3_300 * Clock.MS;
+    private static final long SETTLE_LIMIT_NS = 3_300 * Clock.MILLISECOND_NS;
 
     /**
      * So long clients have to end their side of a connection, and so long beyond {@link #SETTLE_LIMIT_NS} at the most.
      */
-    private static final long DISCONNECT_GRACE_NS = 500 * Clock.MS;
+    private static final long DISCONNECT_GRACE_NS = 500 * Clock.MILLISECOND_NS;
 
-    private static final long DISCONNECT_OVERRUN_NS = 200 * Clock.MS;
+    private static final long DISCONNECT_OVERRUN_NS = 200 * Clock.MILLISECOND_NS;
 
     /** How often it looks whether a step is done. */
-    static final long POLL_INTERVAL_NS = 20 * Clock.MS;
+    static final long POLL_INTERVAL_NS = 20 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final RequestDispatcher dispatcher;
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -64,7 +64,7 @@
     /** For giving leases back; a drain has 3.3 s. */
     private static final long LEAVE_LIMIT_MS = 1_000;
 
-    private static final long TASK_CHECK_INTERVAL_NS = 250 * Clock.MS;
+    private static final long TASK_CHECK_INTERVAL_NS = 250 * Clock.MILLISECOND_NS;
 
     /** A holder that has nothing to probe with leaves the lease to others for so many of its terms. */
     private static final long PROBE_PAUSE_TERMS = 2;
@@ -105,7 +105,7 @@
         this.discoveryWatch = settings.get(SettingKeys.FLEET_DISCOVERY).equals("one")
                 ? new LeasedDiscoveryWatch(clock, tasks.discovery(), this)
                 : null;
-        long pauseNs = PROBE_PAUSE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS) * Clock.MS;
+        long pauseNs = PROBE_PAUSE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS) * Clock.MILLISECOND_NS;
         this.recoveryProbe = settings.get(SettingKeys.FLEET_TRIALS).equals("one")
                 ? new LeasedRecoveryProbe(clock, tasks.dispatcher(), tasks.endpoints(), this, pauseNs)
                 : null;
@@ -251,7 +251,7 @@
                 holderName,
                 settings.get(SettingKeys.FLEET_LEASES),
                 renewer::validity,
-                settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MS,
+                settings.get(SettingKeys.REHEARSAL_ACT_MS) * Clock.MILLISECOND_NS,
                 clock::now,
                 history.history());
     }
@@ -355,7 +355,7 @@
             Optional<LeaseValidity> held = lease(name);
             String state = "not held";
             if (held.isPresent()) {
-                long remainingMs = (held.get().expiresAtNs() - clock.now()) / Clock.MS;
+                long remainingMs = (held.get().expiresAtNs() - clock.now()) / Clock.MILLISECOND_NS;
                 state = "held token " + held.get().token() + " for " + remainingMs + " ms";
             }
             lines.add("lease." + name + "=" + state);
--- a/src/main/java/elderseam/app/LeasedRecoveryProbe.java
+++ b/src/main/java/elderseam/app/LeasedRecoveryProbe.java
@@ -25,10 +25,10 @@
     private static final String RECOVERED = "back";
 
     /** A probe is put off for two checks, so the next one comes in time. */
-    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MS;
+    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MILLISECOND_NS;
 
     /** A holder may be ready for a probe for so long without an outcome. */
-    private static final long IDLE_LIMIT_NS = 2_000 * Clock.MS;
+    private static final long IDLE_LIMIT_NS = 2_000 * Clock.MILLISECOND_NS;
 
     private final Clock clock;
     private final RequestDispatcher dispatcher;
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -34,12 +34,12 @@
             implements Ownership {}
 
     /** With an owner that neither ends nor answers. */
-    private static final long SEARCH_LIMIT_NS = 10_000 * Clock.MS;
+    private static final long SEARCH_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
 
     private static final long SEARCH_INTERVAL_MS = 20;
 
     /** The older process released the lock before it sent its state, so this is for a slow machine alone. */
-    private static final long LOCK_LIMIT_NS = 500 * Clock.MS;
+    private static final long LOCK_LIMIT_NS = 500 * Clock.MILLISECOND_NS;
 
     private static final long LOCK_INTERVAL_MS = 1;
 
--- a/src/main/java/elderseam/app/OwnershipTransfer.java
+++ b/src/main/java/elderseam/app/OwnershipTransfer.java
@@ -51,10 +51,10 @@
         void cancelAttempt(String requestId, int attempt);
     }
 
-    private static final long RELOCK_INTERVAL_NS = 20 * Clock.MS;
+    private static final long RELOCK_INTERVAL_NS = 20 * Clock.MILLISECOND_NS;
 
     /** So long a newer process that failed may still hold the lock. */
-    private static final long RELOCK_LIMIT_NS = 300 * Clock.MS;
+    private static final long RELOCK_LIMIT_NS = 300 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final OwnershipLock lock;
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -29,13 +29,13 @@
 final class PartitionService {
     private static final EventLogger LOG = EventLogger.of(PartitionService.class);
 
-    private static final long CHECK_INTERVAL_NS = 250 * Clock.MS;
+    private static final long CHECK_INTERVAL_NS = 250 * Clock.MILLISECOND_NS;
 
     /** A probe that is another member's turn is put off for so long: two checks, so the next one comes in time. */
-    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MS;
+    private static final long PROBE_DEFERRAL_NS = 500 * Clock.MILLISECOND_NS;
 
     /** A member may be ready for a probe for so long without one, before its turn passes on. */
-    private static final long IDLE_TURN_LIMIT_NS = 2_000 * Clock.MS;
+    private static final long IDLE_TURN_LIMIT_NS = 2_000 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final RequestDispatcher dispatcher;
@@ -69,8 +69,8 @@
         this.dispatcher = dispatcher;
         this.endpoints = endpoints;
         this.members = members;
-        this.fleetSize =
-                new FleetSizeEstimator(configuredCount, settings.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MS);
+        this.fleetSize = new FleetSizeEstimator(
+                configuredCount, settings.get(SettingKeys.SHARES_HOLD_S) * 1_000 * Clock.MILLISECOND_NS);
         this.connectionsPerEndpoint =
                 settings.get(SettingKeys.SHARES_ENDPOINT_CONNECTIONS).intValue();
         this.connectionsPerMember =
--- a/src/main/java/elderseam/app/ReloadTrigger.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -48,7 +48,7 @@
     }
 
     private static final int MAX_LOGGED_FAULTS = 20;
-    private static final long POLL_INTERVAL_NS = 500 * Clock.MS;
+    private static final long POLL_INTERVAL_NS = 500 * Clock.MILLISECOND_NS;
 
     private ReloadTrigger() {}
 
@@ -61,7 +61,7 @@
     static void install(Reader reader, Consumer<Runnable> applier, List<Path> files) {
         try {
             if (!handleHangUp(reader, applier)) {
-                LOG.warn("reload.signal_ignored", field("poll_interval_ms", POLL_INTERVAL_NS / Clock.MS));
+                LOG.warn("reload.signal_ignored", field("poll_interval_ms", POLL_INTERVAL_NS / Clock.MILLISECOND_NS));
                 Thread poller = new Thread(() -> poll(reader, applier, files), "reload");
                 poller.setDaemon(true);
                 poller.start();
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -36,7 +36,7 @@
 final class RulesSetup implements LiveConfiguration.ReloadableRules {
     private static final EventLogger LOG = EventLogger.of(RulesSetup.class);
 
-    private static final long FORGET_INTERVAL_NS = 60_000 * Clock.MS;
+    private static final long FORGET_INTERVAL_NS = 60_000 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final RequestDispatcher dispatcher;
--- a/src/main/java/elderseam/app/StartupWarmup.java
+++ b/src/main/java/elderseam/app/StartupWarmup.java
@@ -16,7 +16,7 @@
  */
 final class StartupWarmup {
     /** Readiness does not wait longer than this. */
-    private static final long LIMIT_NS = 300 * Clock.MS;
+    private static final long LIMIT_NS = 300 * Clock.MILLISECOND_NS;
 
     private static final int ROUNDS = 3;
     private static final int BODY_BYTES = 64;
--- a/src/main/java/elderseam/app/TransferableDispatcher.java
+++ b/src/main/java/elderseam/app/TransferableDispatcher.java
@@ -28,7 +28,7 @@
     private static final EventLogger LOG = EventLogger.of(TransferableDispatcher.class);
 
     /** So long clients of a process that has transferred its work may stay connected. */
-    private static final long RETIRE_LIMIT_NS = 10_000 * Clock.MS;
+    private static final long RETIRE_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
 
     private final IoLoop io;
     private final RequestDispatcher dispatcher;
--- a/src/main/java/elderseam/app/VersionConfirmer.java
+++ b/src/main/java/elderseam/app/VersionConfirmer.java
@@ -62,7 +62,7 @@
         this.folder = folder;
         this.loader = loader;
         this.clock = clock;
-        this.intervalNs = boundMs * Clock.MS / CONFIRMATIONS_PER_BOUND;
+        this.intervalNs = boundMs * Clock.MILLISECOND_NS / CONFIRMATIONS_PER_BOUND;
         this.activatesAtCommit = activatesAtCommit;
         this.onConfirmed = onConfirmed;
         this.thread = new Thread(this::run, "versions");
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -30,7 +30,7 @@
 final class VersionService {
     private static final EventLogger LOG = EventLogger.of(VersionService.class);
 
-    private static final long CHECK_INTERVAL_NS = 20 * Clock.MS;
+    private static final long CHECK_INTERVAL_NS = 20 * Clock.MILLISECOND_NS;
 
     private static final String STORE_DIRECTORY = "versions";
 
@@ -98,7 +98,7 @@
      * @param isKnown whether a request of that id was accepted before
      */
     AdmissionRules guard(AdmissionRules rules, Predicate<String> isKnown) {
-        return new VersionGuard(active, rejectsInDoubt, boundMs * Clock.MS, rules, isKnown);
+        return new VersionGuard(active, rejectsInDoubt, boundMs * Clock.MILLISECOND_NS, rules, isKnown);
     }
 
     private void check() {
@@ -114,7 +114,7 @@
             logDoubt(inDoubt);
         }
         long nowNs = clock.now();
-        long changeNs = Math.max(active.nextChangeNs(), nowNs + Clock.MS);
+        long changeNs = Math.max(active.nextChangeNs(), nowNs + Clock.MILLISECOND_NS);
         io.at(Math.min(nowNs + CHECK_INTERVAL_NS, changeNs), this::check);
     }
 
--- a/src/main/java/elderseam/cli/GossipWatchCommand.java
+++ b/src/main/java/elderseam/cli/GossipWatchCommand.java
@@ -29,7 +29,7 @@
                         + "a line of the roster of its own.")
 final class GossipWatchCommand extends CommandBase {
     private static final int MAX_SECONDS = 3_600;
-    private static final long NS_PER_S = 1_000L * Clock.MS;
+    private static final long NS_PER_S = 1_000L * Clock.MILLISECOND_NS;
 
     /** What the member has heard by the end. */
     private record Observation(List<MembershipUpdate> members, List<HealthReport> reports, String counts) {}
--- a/src/main/java/elderseam/cli/RulesCommand.java
+++ b/src/main/java/elderseam/cli/RulesCommand.java
@@ -40,8 +40,8 @@
             RuleLoader.Loaded loaded = input.load(names);
             loaded.warnings().forEach(warning -> err().println("warning: " + warning));
             String unchecked = names.checked() ? "" : " (classes and tenants not checked: no --config)";
-            out().println(input.file() + ": no fault, " + loaded.rulebook().ruleCount() + " rules, at most " + loaded.maxCost()
-                    + " units a request" + unchecked);
+            out().println(input.file() + ": no fault, " + loaded.rulebook().ruleCount() + " rules, at most "
+                    + loaded.maxCost() + " units a request" + unchecked);
             return ExitCodes.OK;
         }
     }
@@ -122,11 +122,13 @@
 
         private static String jsonObject(SampleResult result) {
             StringBuilder object = new StringBuilder("{");
-            result.values().forEach((field, value) -> object.append(JsonValue.quote(field.label()))
-                    .append(':')
-                    .append(JsonValue.quote(value))
-                    .append(','));
-            String why = String.join(",", result.trace().stream().map(JsonValue::quote).toList());
+            result.values()
+                    .forEach((field, value) -> object.append(JsonValue.quote(field.label()))
+                            .append(':')
+                            .append(JsonValue.quote(value))
+                            .append(','));
+            String why = String.join(
+                    ",", result.trace().stream().map(JsonValue::quote).toList());
             return object + "\"why\":[" + why + "]}";
         }
     }
--- a/src/main/java/elderseam/cli/RulesInput.java
+++ b/src/main/java/elderseam/cli/RulesInput.java
@@ -42,7 +42,7 @@
     /** The names that rules may use, or that they are not known. */
     KnownNames names() throws IOException {
         if (platformConfiguration == null) {
-            return KnownNames.untold();
+            return KnownNames.unchecked();
         }
         JsonValue settings =
                 JsonValue.read(Files.readAllBytes(platformConfiguration)).get("settings");
--- a/src/main/java/elderseam/control/ControlServer.java
+++ b/src/main/java/elderseam/control/ControlServer.java
@@ -31,9 +31,9 @@
     private static final int MAX_CONNECTIONS = 24;
 
     /** Within this time the line must arrive and the response be read. */
-    private static final long CONNECTION_LIFETIME_NS = 6_000 * Clock.MS;
+    private static final long CONNECTION_LIFETIME_NS = 6_000 * Clock.MILLISECOND_NS;
 
-    private static final long NS_PER_S = 1_000 * Clock.MS;
+    private static final long NS_PER_S = 1_000 * Clock.MILLISECOND_NS;
     private static final int ACCEPT_BACKLOG = 64;
     private static final int EXPECTED_LINE_LENGTH = 32;
 
--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -6,7 +6,7 @@
      * Part of a request's time that is reserved for notifying its client, so that a stalled thread still notifies in
      * time.
      */
-    static final long NOTIFICATION_RESERVE_NS = 80 * Clock.MS;
+    static final long NOTIFICATION_RESERVE_NS = 80 * Clock.MILLISECOND_NS;
 
     /**
      * A message as its frontend decoded it. Times are of {@link Clock#now}. Nobody may modify the body.
--- a/src/main/java/elderseam/core/Clock.java
+++ b/src/main/java/elderseam/core/Clock.java
@@ -6,7 +6,7 @@
  */
 public class Clock {
     /** Nanoseconds in a millisecond. */
-    public static final long MS = 1_000_000L;
+    public static final long MILLISECOND_NS = 1_000_000L;
 
     /** Monotonic time in nanoseconds, from an arbitrary origin that may be negative. */
     public long now() {
@@ -20,11 +20,11 @@
 
     /** The wall-clock milliseconds of a monotonic time. */
     public final long toWall(long time) {
-        return wallMs() + Math.floorDiv(time - now(), MS);
+        return wallMs() + Math.floorDiv(time - now(), MILLISECOND_NS);
     }
 
     /** The monotonic time of wall-clock milliseconds. */
     public final long fromWall(long wallMs) {
-        return now() + (wallMs - wallMs()) * MS;
+        return now() + (wallMs - wallMs()) * MILLISECOND_NS;
     }
 }
--- a/src/main/java/elderseam/core/PolicySnapshotCodec.java
+++ b/src/main/java/elderseam/core/PolicySnapshotCodec.java
@@ -15,10 +15,10 @@
  */
 final class PolicySnapshotCodec {
     /** A value farther than this from now is no time but a mark for never, or not yet. */
-    private static final long MAX_TIME_DISTANCE_NS = 30L * 24 * 3_600 * 1_000 * Clock.MS;
+    private static final long MAX_TIME_DISTANCE_NS = 30L * 24 * 3_600 * 1_000 * Clock.MILLISECOND_NS;
 
     /** On Linux both processes share the monotonic clock; a shift below this is the rounding of the wall clock. */
-    private static final long CLOCK_ROUNDING_NS = 20 * Clock.MS;
+    private static final long CLOCK_ROUNDING_NS = 20 * Clock.MILLISECOND_NS;
 
     private static final int INITIAL_BYTES = 16 << 10;
 
@@ -99,7 +99,7 @@
             long writtenAt = integer(0);
             long writtenAtWallMs = integer(0);
             long wallMs = clock.wallMs();
-            ageNs = (wallMs - writtenAtWallMs) * Clock.MS;
+            ageNs = (wallMs - writtenAtWallMs) * Clock.MILLISECOND_NS;
             long shift = now - writtenAt - ageNs;
             clockShiftNs = Math.abs(shift) < CLOCK_ROUNDING_NS ? 0 : shift;
         }
--- a/src/main/java/elderseam/core/PolicySnapshotStore.java
+++ b/src/main/java/elderseam/core/PolicySnapshotStore.java
@@ -18,7 +18,7 @@
     static final int MAX_BYTES = 64 << 10;
 
     /** A snapshot older than this says nothing of the present. */
-    static final long MAX_AGE_NS = 60_000 * Clock.MS;
+    static final long MAX_AGE_NS = 60_000 * Clock.MILLISECOND_NS;
 
     private static final int LENGTH_OFFSET = 8;
     private static final int SHAPE_OFFSET = 12;
--- a/src/main/java/elderseam/core/PolicySnapshots.java
+++ b/src/main/java/elderseam/core/PolicySnapshots.java
@@ -22,7 +22,7 @@
     /** Layout of the state that the policy writes; a snapshot of another layout is not read. */
     private static final int LAYOUT = 1;
 
-    private static final long SAVE_INTERVAL_NS = 1_000 * Clock.MS;
+    private static final long SAVE_INTERVAL_NS = 1_000 * Clock.MILLISECOND_NS;
 
     private final Handover handover;
     private final PolicyFacade policy;
--- a/src/main/java/elderseam/core/RecoveryRunner.java
+++ b/src/main/java/elderseam/core/RecoveryRunner.java
@@ -8,7 +8,7 @@
  */
 final class RecoveryRunner {
     /** How often to look whether the last notifications have been sent. */
-    private static final long POLL_INTERVAL_NS = 5 * Clock.MS;
+    private static final long POLL_INTERVAL_NS = 5 * Clock.MILLISECOND_NS;
 
     private final RequestDispatcher dispatcher;
     private final RecoverySchedule schedule;
--- a/src/main/java/elderseam/core/RecoverySchedule.java
+++ b/src/main/java/elderseam/core/RecoverySchedule.java
@@ -22,10 +22,10 @@
     /**
      * The process reports itself ready no later than this after recovery began, whatever notifications are unsent.
      */
-    static final long MAX_UNREADY_NS = 1_000 * Clock.MS;
+    static final long MAX_UNREADY_NS = 1_000 * Clock.MILLISECOND_NS;
 
     /** What a portion should take. */
-    private static final long TARGET_PORTION_NS = 15 * Clock.MS;
+    private static final long TARGET_PORTION_NS = 15 * Clock.MILLISECOND_NS;
 
     private static final int MIN_PORTION = 8;
     private static final int INITIAL_PORTION = 32;
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -25,7 +25,7 @@
     public static final long NO_DESTINATION = 999_999_999_999_999_999L;
 
     /** What a client is told to wait that was rejected for want of capacity. */
-    static final long CAPACITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
+    static final long CAPACITY_RETRY_AFTER_NS = 1_000 * Clock.MILLISECOND_NS;
 
     private final PolicySettings settings;
     private final PolicyFacade policy;
--- a/src/main/java/elderseam/core/StallDetector.java
+++ b/src/main/java/elderseam/core/StallDetector.java
@@ -9,10 +9,10 @@
  */
 public final class StallDetector {
     /** How often the heartbeat is due. */
-    public static final long HEARTBEAT_INTERVAL_NS = 25 * Clock.MS;
+    public static final long HEARTBEAT_INTERVAL_NS = 25 * Clock.MILLISECOND_NS;
 
     /** A heartbeat that is late by less is no stall: timers are in whole milliseconds, and one task may take some. */
-    public static final long STALL_THRESHOLD_NS = 50 * Clock.MS;
+    public static final long STALL_THRESHOLD_NS = 50 * Clock.MILLISECOND_NS;
 
     private long due;
     private boolean stalled;
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -73,6 +73,6 @@
         if (!RETRY_AFTER_SECONDS.matcher(retryAfter).matches()) {
             return 0;
         }
-        return (long) (Double.parseDouble(retryAfter) * MS_PER_SECOND * Clock.MS);
+        return (long) (Double.parseDouble(retryAfter) * MS_PER_SECOND * Clock.MILLISECOND_NS);
     }
 }
--- a/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventConfiguration.java
@@ -84,6 +84,6 @@
     }
 
     private static long nanoseconds(long seconds) {
-        return seconds * MS_PER_SECOND * Clock.MS;
+        return seconds * MS_PER_SECOND * Clock.MILLISECOND_NS;
     }
 }
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -34,7 +34,7 @@
      * The time to connect, and the time to answer beyond the wait for a change. With {@link #LONG_POLL_MS} it leaves one
      * of the 6 s to repeat an unanswered call.
      */
-    private static final long ANSWER_TIMEOUT_NS = 1_500 * Clock.MS;
+    private static final long ANSWER_TIMEOUT_NS = 1_500 * Clock.MILLISECOND_NS;
 
     private static final String PATH = "/registry/instances";
 
@@ -70,7 +70,7 @@
 
     /** The longest time between two answers of a discovery that answers in time, in nanoseconds. */
     public static long maxAnswerIntervalNs() {
-        return LONG_POLL_MS * Clock.MS + ANSWER_TIMEOUT_NS;
+        return LONG_POLL_MS * Clock.MILLISECOND_NS + ANSWER_TIMEOUT_NS;
     }
 
     /** Sets what runs after each answer of discovery, also one without changes. */
--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -25,8 +25,8 @@
  */
 final class NotificationSender {
     private static final int MAX_NOTIFICATIONS_PER_CALL = 200;
-    private static final long ANSWER_TIMEOUT_NS = 800 * Clock.MS;
-    private static final long RETRY_INTERVAL_NS = 100 * Clock.MS;
+    private static final long ANSWER_TIMEOUT_NS = 800 * Clock.MILLISECOND_NS;
+    private static final long RETRY_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
     private static final int ACKNOWLEDGED_STATUS = 204;
 
     /** One notification: the deadline of its request and its line of a call's body. In the order of deadlines. */
@@ -70,7 +70,7 @@
 
     private static String line(String requestId, FinalOutcome outcome) {
         if (outcome.kind() == FinalOutcome.Kind.REJECTED) {
-            long retryAfterMs = outcome.retryAfterNs() / Clock.MS;
+            long retryAfterMs = outcome.retryAfterNs() / Clock.MILLISECOND_NS;
             return "{\"id\":\"" + requestId + "\",\"status\":\"deferred\",\"again_ms\":" + retryAfterMs + "}\n";
         }
         return "{\"id\":\"" + requestId + "\",\"status\":\"undeliverable\"}\n";
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -58,7 +58,7 @@
         if (!message.idempotencyKey().isEmpty()) {
             headers.put("Idempotency-Key", message.idempotencyKey());
         }
-        long remainingMs = Math.max(1, (answerBy - io.clock.now()) / Clock.MS);
+        long remainingMs = Math.max(1, (answerBy - io.clock.now()) / Clock.MILLISECOND_NS);
         headers.put(PlatformRequestDecoder.REMAINING_HEADER, remainingMs + "m");
         return connections.send(
                 endpoints.addressOf(endpoint),
@@ -88,7 +88,7 @@
         }
         Status status = status(result);
         double retryAfterMs = status == Status.OVERLOADED ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
-        long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MS);
+        long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MILLISECOND_NS);
         String report = result.header(LOAD_REPORT_HEADER);
         double shareLeft = reportedNumber(report, loadReportFields, SHARE_LEFT_FIELD);
         double limitPerS = reportedNumber(report, loadReportFields, LIMIT_FIELD);
--- a/src/main/java/elderseam/frontend/platform/PlatformRequestDecoder.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformRequestDecoder.java
@@ -99,6 +99,6 @@
             return MALFORMED_TIME;
         }
         long number = Long.parseLong(text.substring(0, text.length() - 1));
-        return number * (text.endsWith("m") ? Clock.MS : NS_PER_MICROSECOND);
+        return number * (text.endsWith("m") ? Clock.MILLISECOND_NS : NS_PER_MICROSECOND);
     }
 }
--- a/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -25,7 +25,7 @@
  */
 public final class SuccessorProxy {
     /** Longer than the 0.4 s for which a client waits. */
-    private static final long ANSWER_TIMEOUT_NS = 2_000 * Clock.MS;
+    private static final long ANSWER_TIMEOUT_NS = 2_000 * Clock.MILLISECOND_NS;
 
     /** How many requests are forwarded at once: descriptors are limited for both processes together. */
     private static final int MAX_IN_FLIGHT = 32;
@@ -132,7 +132,7 @@
         long remainingNs =
                 PlatformRequestDecoder.parseRemainingNs(request.header(PlatformRequestDecoder.REMAINING_HEADER));
         long queuedNs = io.clock.now() - queued.receivedAt;
-        if (remainingNs > 0 && queuedNs > Clock.MS) {
+        if (remainingNs > 0 && queuedNs > Clock.MILLISECOND_NS) {
             String timeLeft = Math.max(0, remainingNs - queuedNs) / NS_PER_MICROSECOND + "u";
             request.headers().put(new HttpString(PlatformRequestDecoder.REMAINING_HEADER), timeLeft);
         }
--- a/src/main/java/elderseam/http/ClientConnection.java
+++ b/src/main/java/elderseam/http/ClientConnection.java
@@ -20,24 +20,24 @@
  */
 final class ClientConnection {
     /** For a request to arrive, from the connecting or, on a kept connection, from its head. */
-    private static final long REQUEST_TIMEOUT_NS = 2_400 * Clock.MS;
+    private static final long REQUEST_TIMEOUT_NS = 2_400 * Clock.MILLISECOND_NS;
 
     private static final int LARGE_BODY_BYTES = 64 << 10;
-    private static final long LARGE_BODY_EXTRA_NS = 3_000 * Clock.MS;
+    private static final long LARGE_BODY_EXTRA_NS = 3_000 * Clock.MILLISECOND_NS;
 
     /** For the client to read the response. */
-    private static final long RESPONSE_TIMEOUT_NS = 2_400 * Clock.MS;
+    private static final long RESPONSE_TIMEOUT_NS = 2_400 * Clock.MILLISECOND_NS;
 
-    private static final long KEEP_ALIVE_NS = 60_000 * Clock.MS;
+    private static final long KEEP_ALIVE_NS = 60_000 * Clock.MILLISECOND_NS;
 
     /** The keep-alive time once half of the allowed connections are open. */
-    private static final long CROWDED_KEEP_ALIVE_NS = 2_100 * Clock.MS;
+    private static final long CROWDED_KEEP_ALIVE_NS = 2_100 * Clock.MILLISECOND_NS;
 
     /** A connection without a request is silent after this. */
-    private static final long SILENT_AFTER_NS = 1_000 * Clock.MS;
+    private static final long SILENT_AFTER_NS = 1_000 * Clock.MILLISECOND_NS;
 
     /** For the client to end its side of a lingering connection. */
-    private static final long LINGER_TIMEOUT_NS = 1_000 * Clock.MS;
+    private static final long LINGER_TIMEOUT_NS = 1_000 * Clock.MILLISECOND_NS;
 
     /** How readily a connection is given up for a new one: the first of these first. */
     enum EvictionRank {
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -18,7 +18,7 @@
  * one is refused with a 503. Confined to the I/O thread.
  */
 final class ClientConnections {
-    private static final long SWEEP_INTERVAL_NS = 100 * Clock.MS;
+    private static final long SWEEP_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
 
     /** How many lingering connections may be open beyond the bound. */
     private static final int MAX_LINGERING_BEYOND_BOUND = 4;
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -20,10 +20,10 @@
  * by bytes that don't belong to it, is closed at once. Confined to the I/O thread.
  */
 public final class EndpointConnectionPool {
-    private static final long SWEEP_INTERVAL_NS = 100 * Clock.MS;
+    private static final long SWEEP_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
 
     /** How long a half-closed connection is read for the late response to its cancelled exchange. */
-    private static final long LATE_RESPONSE_TIMEOUT_NS = 1_000 * Clock.MS;
+    private static final long LATE_RESPONSE_TIMEOUT_NS = 1_000 * Clock.MILLISECOND_NS;
 
     private static final int MAX_HALF_CLOSED = 32;
     private static final int READ_BUFFER_BYTES = 16 << 10;
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -21,7 +21,7 @@
  */
 public final class EndpointExchange {
     /** From the first byte of a response to its last. */
-    private static final long RESPONSE_TIMEOUT_NS = 700 * Clock.MS;
+    private static final long RESPONSE_TIMEOUT_NS = 700 * Clock.MILLISECOND_NS;
 
     private static final OptionMap SOCKET_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -38,7 +38,7 @@
     private static final int MARKER_BUFFER_BYTES = 16;
 
     /** A stall that is shorter is not logged. */
-    private static final long LOGGED_STALL_NS = 100 * Clock.MS;
+    private static final long LOGGED_STALL_NS = 100 * Clock.MILLISECOND_NS;
 
     /** The clock of all times here. */
     public final Clock clock;
@@ -185,7 +185,7 @@
         catchingUp = false;
         long ns = stallDetector.endStall();
         if (ns > LOGGED_STALL_NS) {
-            LOG.warn("io.stalled", field("duration_ms", ns / Clock.MS));
+            LOG.warn("io.stalled", field("duration_ms", ns / Clock.MILLISECOND_NS));
         }
         runGuarded(() -> onStall.accept(ns));
         runFirst(deferredTasks.size(), deferredTasks);
--- a/src/main/java/elderseam/rules/ExpressionExplainer.java
+++ b/src/main/java/elderseam/rules/ExpressionExplainer.java
@@ -21,10 +21,10 @@
         Expression expression = compiled.expression();
         if (expression == null) {
             throw new SettingsFault(
-                    compiled.faults().stream().map(ExpressionFault::shown).toList());
+                    compiled.faults().stream().map(ExpressionFault::describe).toList());
         }
         String header = String.format(Locale.ROOT, "%-56s %-24s %s%n", "part", "type", "most units");
-        return header + expression.explained() + "gives " + expression.type() + ", at most " + expression.bound()
-                + " of " + limits.expressionBudget() + " units";
+        return header + expression.explain() + "gives " + expression.type() + ", at most " + expression.bound() + " of "
+                + limits.expressionBudget() + " units";
     }
 }
--- a/src/main/java/elderseam/rules/Rule.java
+++ b/src/main/java/elderseam/rules/Rule.java
@@ -27,7 +27,7 @@
      * condition evaluates nothing, and leaves the error of the evaluation before it.
      */
     boolean matches(RuleInput input) {
-        return condition == null || condition.truth(input);
+        return condition == null || condition.boolValue(input);
     }
 
     /** Evaluates every action; returns what went wrong, or null. */
--- a/src/main/java/elderseam/rules/RuleActions.java
+++ b/src/main/java/elderseam/rules/RuleActions.java
@@ -94,7 +94,7 @@
 
         @Override
         public EvaluationError evaluate(RuleInput input) {
-            destination = number.whole(input);
+            destination = number.intValue(input);
             if (input.error() != null) {
                 return input.error();
             }
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -20,12 +20,12 @@
     public static final int MAX_EARLIER_SCHEMES = 8;
 
     /** Retry-After of a message of low priority while the dispatcher holds much. */
-    private static final long LOW_PRIORITY_RETRY_AFTER_NS = 1_000 * Clock.MS;
+    private static final long LOW_PRIORITY_RETRY_AFTER_NS = 1_000 * Clock.MILLISECOND_NS;
 
     /** A message of priority p below the default is rejected while (p + 1) parts of the capacity are held. */
     private static final double PRIORITY_LEVELS = 10.0;
 
-    private static final long NANOS_PER_SECOND = 1_000 * Clock.MS;
+    private static final long NANOS_PER_SECOND = 1_000 * Clock.MILLISECOND_NS;
 
     /** What the rules make of a message. */
     public sealed interface Decision {}
--- a/src/main/java/elderseam/rules/RuleErrorLog.java
+++ b/src/main/java/elderseam/rules/RuleErrorLog.java
@@ -38,7 +38,7 @@
         linesThisSecond++;
         if (linesThisSecond <= MAX_LINES_PER_SECOND) {
             lastLoggedNs.put(rule, nowNs);
-            sink.accept("rules: rule " + rule.name + " ended in an error: " + error.words() + " (" + rule.errorCount()
+            sink.accept("rules: rule " + rule.name + " ended in an error: " + error.message() + " (" + rule.errorCount()
                     + " so far)");
         }
     }
--- a/src/main/java/elderseam/rules/RuleExpressions.java
+++ b/src/main/java/elderseam/rules/RuleExpressions.java
@@ -56,10 +56,10 @@
     private static String format(Section section, String key, Value value, ExpressionFault fault) {
         int line = value.line() + fault.line() - 1;
         int column = fault.line() == 1 ? value.column() + fault.column() - 1 : fault.column();
-        String[] shown = fault.shown().split("\n", 2);
+        String[] shown = fault.describe().split("\n", 2);
         String excerpt = shown.length > 1 ? "\n" + shown[1] : "";
         return section.file() + ":" + line + ":" + column + ": " + section.kind() + "." + section.name() + "." + key
-                + ": " + fault.words() + excerpt;
+                + ": " + fault.message() + excerpt;
     }
 
     /** The program of a key's value; empty if the section has no such key, or the value is faulty. */
--- a/src/main/java/elderseam/rules/RuleInput.java
+++ b/src/main/java/elderseam/rules/RuleInput.java
@@ -115,9 +115,9 @@
             case RuleVariables.REMAINING -> Duration.ofNanos(Math.max(0, message.deadline() - nowNs));
             case RuleVariables.WAIT -> Duration.ofNanos(environment.retryAfterNs(destination));
             case RuleVariables.NOW -> Instant.ofEpochMilli(wallMs);
-            case RuleVariables.RESENT -> truth(variable);
-            case RuleVariables.RATE, RuleVariables.SHARE -> real(variable);
-            default -> variable >= RuleVariables.COUNT ? bodyField(variable) : (Object) whole(variable);
+            case RuleVariables.RESENT -> boolValue(variable);
+            case RuleVariables.RATE, RuleVariables.SHARE -> doubleValue(variable);
+            default -> variable >= RuleVariables.COUNT ? bodyField(variable) : (Object) intValue(variable);
         };
     }
 
@@ -145,7 +145,7 @@
     }
 
     @Override
-    protected long whole(int variable) {
+    protected long intValue(int variable) {
         return switch (variable) {
             case RuleVariables.SIZE -> attributes.body().length;
             case RuleVariables.DESTINATION -> destination;
@@ -154,16 +154,16 @@
             default ->
                 variable >= RuleVariables.YEAR && variable <= RuleVariables.DAYS_LEFT
                         ? calendar.part(variable, wallMs)
-                        : super.whole(variable);
+                        : super.intValue(variable);
         };
     }
 
     @Override
-    protected double real(int variable) {
+    protected double doubleValue(int variable) {
         return switch (variable) {
             case RuleVariables.RATE -> tenantRate();
             case RuleVariables.SHARE -> environment.tenantQuota(tenantIndex);
-            default -> super.real(variable);
+            default -> super.doubleValue(variable);
         };
     }
 
@@ -173,7 +173,7 @@
     }
 
     @Override
-    protected boolean truth(int variable) {
-        return variable == RuleVariables.RESENT ? message.resubmitted() : super.truth(variable);
+    protected boolean boolValue(int variable) {
+        return variable == RuleVariables.RESENT ? message.resubmitted() : super.boolValue(variable);
     }
 }
--- a/src/main/java/elderseam/rules/RuleTable.java
+++ b/src/main/java/elderseam/rules/RuleTable.java
@@ -63,7 +63,7 @@
     private void onError(Rule rule, EvaluationError error, RuleResult result, RuleErrorLog errorLog, long nowNs) {
         rule.countError();
         String consequence = rejectsOnError ? ", refused" : ", as if it did not match";
-        trace(result, rule, ": error: " + error.words() + consequence);
+        trace(result, rule, ": error: " + error.message() + consequence);
         errorLog.report(rule, error, nowNs);
         if (rejectsOnError) {
             result.retryAfterNs = ERROR_RETRY_AFTER_NS;
--- a/src/main/java/elderseam/testkit/acme/StandInAuthority.java
+++ b/src/main/java/elderseam/testkit/acme/StandInAuthority.java
@@ -66,7 +66,7 @@
 
     private static final String ERROR = "urn:ietf:params:acme:error:";
     private static final int MOST_BODY = 32 << 10, MOST_CONNECTIONS = 32, MOST_NONCES = 1_000, MOST_KEPT = 1_000;
-    private static final long VALIDATE_NS = 3_000 * Clock.MS;
+    private static final long VALIDATE_NS = 3_000 * Clock.MILLISECOND_NS;
 
     private record Account(String url, PublicJsonWebKey key) {}
 
@@ -128,7 +128,7 @@
         this.before = before;
         this.after = after;
         this.challengePort = challengePort;
-        this.connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, MOST_CONNECTIONS, 1 << 10);
+        this.connections = new EndpointConnectionPool(io, 1_000 * Clock.MILLISECOND_NS, MOST_CONNECTIONS, 1 << 10);
         this.server = new HttpServer(io, address, MOST_BODY, MOST_CONNECTIONS, 1 << 20, null, this::handle);
     }
 
--- a/src/main/java/elderseam/testkit/faults/ExternalServices.java
+++ b/src/main/java/elderseam/testkit/faults/ExternalServices.java
@@ -21,7 +21,7 @@
 
 /** All the outside of a fleet in one place: discovery, the place for notices, one partner that delivers, and a client. */
 final class ExternalServices {
-    private static final long WATCH_NS = 1_000 * Clock.MS, PATIENCE_NS = 5_000 * Clock.MS;
+    private static final long WATCH_NS = 1_000 * Clock.MILLISECOND_NS, PATIENCE_NS = 5_000 * Clock.MILLISECOND_NS;
     private static final String SETTINGS = """
             {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
--- a/src/test/java/elderseam/compat/CoreProcess.java
+++ b/src/test/java/elderseam/compat/CoreProcess.java
@@ -106,7 +106,7 @@
     }
 
     Optional<FinalOutcome> take(String id, int cls, int tenant, long destination, String same) {
-        long by = clock.now() + (cls == 0 ? 30_000 : 20_000) * Clock.MS;
+        long by = clock.now() + (cls == 0 ? 30_000 : 20_000) * Clock.MILLISECOND_NS;
         return relay.submit(new ActiveRequest.Message(
                 id,
                 (byte) 1,
@@ -114,7 +114,7 @@
                 tenant,
                 destination,
                 by,
-                by + 60_000 * Clock.MS,
+                by + 60_000 * Clock.MILLISECOND_NS,
                 false,
                 true,
                 "key of " + id,
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -215,7 +215,7 @@
         assertEquals(Optional.empty(), channel.receive());
         assertEquals(HandoverReceiver.Action.SETTLE, receiver.onChannelClosed());
         handover.predecessorGone();
-        newer.pass(300 * Clock.MS);
+        newer.pass(300 * Clock.MILLISECOND_NS);
         for (String id : List.of("lead", "copy", "late")) {
             assertEquals(FinalOutcome.DELIVERED, newer.journal.outcome(id).orElseThrow(), id);
         }
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -21,7 +21,8 @@
             TO_NEWER = "handover/to-newer.hex",
             TO_OLDER = "handover/to-older.hex";
     /** When it began, and when it passed its work on. */
-    static final long BEGAN_NS = 5_000_000 * Clock.MS, PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MS;
+    static final long BEGAN_NS = 5_000_000 * Clock.MILLISECOND_NS,
+            PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MILLISECOND_NS;
     /** Destination 1: plain; 2: its breaker opens; 3: routes apart, one in a told wait; 4: back after a drain, so cold. */
     private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":["
             + host("a1", "plain", 1, "SERVING") + "," + host("a2", "plain", 1, "SERVING") + ","
@@ -41,16 +42,16 @@
                 process.list(LIST.formatted("SERVING"));
                 take(4, 1);
             }
-            process.pass(20 * Clock.MS + i * 100_000L);
+            process.pass(20 * Clock.MILLISECOND_NS + i * 100_000L);
             answerAll(CoreProcess.DELIVERED);
-            process.pass(150 * Clock.MS);
+            process.pass(150 * Clock.MILLISECOND_NS);
         }
         for (int i = 0; i < 6; i++) {
             take(2, 0);
             answerAll(AttemptOutcome.unanswered(Progress.WRITTEN, Status.BROKEN));
         }
         take(3, 0);
-        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, 9_000 * Clock.MS, 0, 0));
+        answerAll(new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, 9_000 * Clock.MILLISECOND_NS, 0, 0));
         take(3, 1);
         answerAll(new AttemptOutcome(Progress.ANSWERED, Status.DELIVERED, 0, 0.25, 30));
         process.relay.setDrained("a2", true);
--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -25,7 +25,7 @@
     private static final long DESTINATION = 1;
     private static final int NO_TENANT = -1;
     private static final long JOURNAL_BYTES = 1_000_000;
-    private static final long DEADLINE_NS = 9_000 * Clock.MS;
+    private static final long DEADLINE_NS = 9_000 * Clock.MILLISECOND_NS;
 
     final Clock clock = new Clock();
 
--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -17,7 +17,7 @@
 /** What the journal gives back, before and after a compaction. */
 class JournalTest {
     private static final long CAPACITY = 200_000;
-    private static final long SECOND = 1_000 * Clock.MS;
+    private static final long SECOND = 1_000 * Clock.MILLISECOND_NS;
 
     /** A lifetime of a message whose outcome need not be remembered. */
     private static final long EXPIRED = -1;
--- a/src/test/java/elderseam/core/RecoveryScheduleTest.java
+++ b/src/test/java/elderseam/core/RecoveryScheduleTest.java
@@ -15,8 +15,8 @@
 
 /** In what order, and in what portions, an earlier process's requests come back. */
 class RecoveryScheduleTest {
-    private static final long NOW = 5_000 * Clock.MS;
-    private static final long SECOND = 1_000 * Clock.MS;
+    private static final long NOW = 5_000 * Clock.MILLISECOND_NS;
+    private static final long SECOND = 1_000 * Clock.MILLISECOND_NS;
     private static final int REPEATABLE = 0;
     private static final int BY_KEY = 1;
     private static final int ONCE = 2;
@@ -64,7 +64,7 @@
     void mostUrgentFirstAndEachOnce() {
         List<ActiveRequest> unfinished = new ArrayList<>();
         for (int i = 0; i < 700; i++) {
-            unfinished.add(request("m" + i, i % 3, NOW + (i - 300) * 10L * Clock.MS, i % 7 == 0, NOW));
+            unfinished.add(request("m" + i, i % 3, NOW + (i - 300) * 10L * Clock.MILLISECOND_NS, i % 7 == 0, NOW));
         }
         Collections.shuffle(unfinished, new Random(1));
         RecoverySchedule schedule = new RecoverySchedule(unfinished, CLASSES, 40, NOW);
@@ -84,7 +84,7 @@
                 assertTrue(latestDeadline(portion) <= earliestDeadlineOfRest(unfinished, submitted, portion));
             }
             submitted.addAll(portion);
-            schedule.portionTook(Clock.MS);
+            schedule.portionTook(Clock.MILLISECOND_NS);
         }
         assertEquals(2, stages);
         assertEquals(700, submitted.stream().map(ActiveRequest::id).distinct().count());
@@ -119,16 +119,16 @@
         }
         RecoverySchedule schedule = new RecoverySchedule(unfinished, CLASSES, 40, NOW);
         assertEquals(32, schedule.nextPortion().size());
-        schedule.portionTook(500 * Clock.MS);
+        schedule.portionTook(500 * Clock.MILLISECOND_NS);
         assertEquals(16, schedule.nextPortion().size());
         for (int i = 0; i < 5; i++) {
-            schedule.portionTook(500 * Clock.MS);
+            schedule.portionTook(500 * Clock.MILLISECOND_NS);
         }
         assertEquals(8, schedule.nextPortion().size());
-        schedule.portionTook(20 * Clock.MS);
+        schedule.portionTook(20 * Clock.MILLISECOND_NS);
         assertEquals(8, schedule.nextPortion().size());
         for (int i = 0; i < 9; i++) {
-            schedule.portionTook(Clock.MS);
+            schedule.portionTook(Clock.MILLISECOND_NS);
         }
         assertEquals(256, schedule.nextPortion().size());
     }
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -20,7 +20,7 @@
 
 /** The dispatcher without sockets: acceptance, attempts and final outcomes. */
 class RequestDispatcherTest {
-    private static final long RETRY_AFTER_NS = 3_000 * Clock.MS;
+    private static final long RETRY_AFTER_NS = 3_000 * Clock.MILLISECOND_NS;
     private static final AttemptOutcome OVERLOADED =
             new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, RETRY_AFTER_NS, 0, 0);
 
--- a/src/test/java/elderseam/core/StallDetectorTest.java
+++ b/src/test/java/elderseam/core/StallDetectorTest.java
@@ -15,7 +15,7 @@
     void aHeartbeatInTimeOrALittleLateIsNoStall() {
         long now = START;
         for (int i = 0; i < 100; i++) {
-            now = detector.heartbeat(now) + (i % 5) * 10L * Clock.MS;
+            now = detector.heartbeat(now) + (i % 5) * 10L * Clock.MILLISECOND_NS;
             assertFalse(detector.isStalled(now));
         }
         assertEquals(0, detector.endStall());
@@ -26,24 +26,25 @@
     @Test
     void aStallCountsOnceAndLastsUntilAllIsRead() {
         long due = detector.heartbeat(START);
-        long back = due + 700 * Clock.MS;
+        long back = due + 700 * Clock.MILLISECOND_NS;
         assertTrue(detector.isStalled(back));
-        assertTrue(detector.isStalled(back + Clock.MS), "nothing was read yet");
-        detector.heartbeat(back + 2 * Clock.MS);
-        assertTrue(detector.isStalled(back + 2 * Clock.MS), "a heartbeat reads nothing");
-        assertEquals(700 * Clock.MS, detector.endStall());
-        assertFalse(detector.isStalled(back + 3 * Clock.MS));
+        assertTrue(detector.isStalled(back + Clock.MILLISECOND_NS), "nothing was read yet");
+        detector.heartbeat(back + 2 * Clock.MILLISECOND_NS);
+        assertTrue(detector.isStalled(back + 2 * Clock.MILLISECOND_NS), "a heartbeat reads nothing");
+        assertEquals(700 * Clock.MILLISECOND_NS, detector.endStall());
+        assertFalse(detector.isStalled(back + 3 * Clock.MILLISECOND_NS));
         assertEquals(0, detector.endStall(), "it is reported once");
-        assertEquals(700 * Clock.MS, detector.longestNs());
+        assertEquals(700 * Clock.MILLISECOND_NS, detector.longestNs());
     }
 
     /** A second stall before all was read adds to the first. */
     @Test
     void stallsAddUp() {
         long due = detector.heartbeat(START);
-        detector.isStalled(due + 100 * Clock.MS);
-        detector.isStalled(due + 100 * Clock.MS + StallDetector.HEARTBEAT_INTERVAL_NS + 300 * Clock.MS);
-        assertEquals(400 * Clock.MS, detector.endStall());
-        assertEquals(300 * Clock.MS, detector.longestNs());
+        detector.isStalled(due + 100 * Clock.MILLISECOND_NS);
+        detector.isStalled(
+                due + 100 * Clock.MILLISECOND_NS + StallDetector.HEARTBEAT_INTERVAL_NS + 300 * Clock.MILLISECOND_NS);
+        assertEquals(400 * Clock.MILLISECOND_NS, detector.endStall());
+        assertEquals(300 * Clock.MILLISECOND_NS, detector.longestNs());
     }
 }
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -26,7 +26,7 @@
             COMPACTED = "journal/compacted.hex",
             AFTER_RESTART = "learned/after-restart.hex",
             VALUES = "learned/values.hex";
-    private static final long S = 1_000 * Clock.MS, CAP = 1_000_000;
+    private static final long S = 1_000 * Clock.MILLISECOND_NS, CAP = 1_000_000;
     private static final byte[] SCHEME = "orders = request.headers['x-order']".getBytes(StandardCharsets.UTF_8);
     /** Layout 1, two classes, two kinds, two tenants. */
     private static final int SHAPE = 0x01020202;
--- a/src/test/java/elderseam/figures/StartupMeasurements.java
+++ b/src/test/java/elderseam/figures/StartupMeasurements.java
@@ -144,7 +144,12 @@
         }
         List<String> used = Files.readAllLines(folder.resolve("used"));
         return new Start(
-                cores, messages, ready / Clock.MS, away, Long.parseLong(used.get(0)), Long.parseLong(used.get(1)));
+                cores,
+                messages,
+                ready / Clock.MILLISECOND_NS,
+                away,
+                Long.parseLong(used.get(0)),
+                Long.parseLong(used.get(1)));
     }
 
     /** Notes what it used, and ends it. */
@@ -186,7 +191,7 @@
         Clock clock = new Clock();
         try (Journal journal = new Journal(state, 3_000_000, clock)) {
             for (int i = 0; i < messages; i++) {
-                long by = clock.now() + (i % 4 == 0 ? -500 + i : 15_000) * Clock.MS;
+                long by = clock.now() + (i % 4 == 0 ? -500 + i : 15_000) * Clock.MILLISECOND_NS;
                 ActiveRequest.Message m = new ActiveRequest.Message(
                         "m" + i, (byte) 0, i % 2 * 2, 0, 1 + i % 8, by, by, false, true, "k" + i, new byte[300]);
                 journal.accepted(m);
--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -26,7 +26,7 @@
 
     private static final int TIMEOUT_S = 20;
     private static final long CONNECT_TIMEOUT_MS = 5_000;
-    private static final long ANSWER_TIMEOUT_NS = 10_000 * Clock.MS;
+    private static final long ANSWER_TIMEOUT_NS = 10_000 * Clock.MILLISECOND_NS;
     private static final int SMALL_BODY_BYTES = 10;
     private static final int BODY_BEYOND_SOCKET_BUFFERS = 32 << 20;
     private static final String END_OF_HEAD = "\r\n\r\n";
@@ -39,7 +39,7 @@
 
     AttemptProgressTest() throws IOException {
         io = new IoLoop(new Clock());
-        connections = new EndpointConnectionPool(io, 1_000 * Clock.MS, 50, 64 << 10);
+        connections = new EndpointConnectionPool(io, 1_000 * Clock.MILLISECOND_NS, 50, 64 << 10);
     }
 
     private static InetAddress localAddress() {
@@ -65,7 +65,7 @@
         io.run(() -> connections.send(
                 endpoint(server),
                 post("/x", bodyBytes),
-                io.clock.now() + connectTimeoutMs * Clock.MS,
+                io.clock.now() + connectTimeoutMs * Clock.MILLISECOND_NS,
                 answerBy,
                 result::complete));
         return result;
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -298,13 +298,13 @@
     @Test
     void noSideDelaysSmallWrites() throws Exception {
         connectIdle();
-        EndpointConnectionPool pool = new EndpointConnectionPool(io, 1_000 * Clock.MS, 5, 1 << 10);
+        EndpointConnectionPool pool = new EndpointConnectionPool(io, 1_000 * Clock.MILLISECOND_NS, 5, 1 << 10);
         EndpointAddress endpoint = new EndpointAddress(
                 "self",
                 server.address().getAddress().getHostAddress() + ":"
                         + server.address().getPort());
         CompletableFuture<HttpResult> result = new CompletableFuture<>();
-        long deadline = io.clock.now() + 9_000 * Clock.MS;
+        long deadline = io.clock.now() + 9_000 * Clock.MILLISECOND_NS;
         io.run(() -> pool.send(endpoint, HttpRequest.get("/now"), deadline, deadline, result::complete));
         assertEquals(200, result.get(TIMEOUT_S, TimeUnit.SECONDS).code());
 
--- a/src/test/java/elderseam/rules/RulesFuzzTest.java
+++ b/src/test/java/elderseam/rules/RulesFuzzTest.java
@@ -38,14 +38,14 @@
                 Expression.compile(expressionText, scope, Type.Plain.DYN, SMALL_LIMITS.expressionBudget());
         Expression expression = compiled.expression();
         if (expression == null) {
-            compiled.faults().forEach(ExpressionFault::shown);
+            compiled.faults().forEach(ExpressionFault::describe);
             return;
         }
         Program program = expression.program();
         RuleInput input = input(scope, body);
         Object value = program.value(input);
-        if (input.spent() > expression.bound()) {
-            throw new AssertionError(expression.text() + ": " + input.spent() + " of " + expression.bound());
+        if (input.cost() > expression.bound()) {
+            throw new AssertionError(expression.text() + ": " + input.cost() + " of " + expression.bound());
         }
         Object reference =
                 expression.evaluate(name -> input.value(scope.number(name))).value();
--- a/src/test/java/elderseam/rules/SampleRequestTest.java
+++ b/src/test/java/elderseam/rules/SampleRequestTest.java
@@ -30,11 +30,11 @@
                 """, faults);
         request.setState("remaining=2.5", faults);
         assertEquals(List.of(), faults);
-        assertEquals("platform", request.front());
+        assertEquals("platform", request.frontend());
         assertEquals("POST", request.method());
         assertEquals("/rent-payment", request.path());
         assertEquals("khomas", request.headers().get("X-ORG"));
-        assertEquals(Map.of(), request.attributes());
+        assertEquals(Map.of(), request.eventAttributes());
         assertEquals("first\nsecond", new String(request.body(), StandardCharsets.UTF_8));
         ActiveRequest.Message message = request.message(NAMES);
         assertEquals("t1", message.id());
@@ -52,8 +52,8 @@
                 "POST /events\r\nce-source: /a\r\nce-id: 1\r\nce-type: job-order\r\nce-tenant: erongo\r\nce-destination: 5\r\n",
                 faults);
         assertEquals(List.of(), faults);
-        assertEquals("events", request.front());
-        assertEquals("job-order", request.attributes().get("type"));
+        assertEquals("events", request.frontend());
+        assertEquals("job-order", request.eventAttributes().get("type"));
         ActiveRequest.Message message = request.message(NAMES);
         assertEquals("/a1", message.id());
         assertEquals(1, message.classIndex());
--- a/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
+++ b/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
@@ -108,7 +108,7 @@
                     .replace("\"quotaPerS\":100.0", "\"quotaPerS\":1000.0"));
             int taken = 0;
             try (Journal journal = new Journal(s.state(), 3_000_000, clock)) {
-                long by = clock.now() + 60_000 * Clock.MS;
+                long by = clock.now() + 60_000 * Clock.MILLISECOND_NS;
                 while (taken < most - most / 16 - 1
                         && journal.accepted(new ActiveRequest.Message(
                                 "m" + taken,
--- a/src/test/java/elderseam/scenario/IdempotencyKeyRestartTest.java
+++ b/src/test/java/elderseam/scenario/IdempotencyKeyRestartTest.java
@@ -81,7 +81,7 @@
             run(scenario, """
                     relay close kill
                     relay wait start
-                    relay expect keys of 2 earlier readings are remembered
+                    relay expect rules.applied earlier_key_schemes=2
                     c send POST /rent-payment; {org} X-Txn: three | {rent}
                     c expect 200
                     c send POST /rent-payment; {org} X-Txn: four | {"lease": 13, "month": "2026-12"}
--- a/src/test/java/elderseam/scenario/RulesReloadTest.java
+++ b/src/test/java/elderseam/scenario/RulesReloadTest.java
@@ -28,7 +28,7 @@
             Files.writeString(ini, without);
             run(scenario, """
                     relay hangup
-                    relay expect rules: none, keys of 1 earlier readings are remembered
+                    relay expect rules.absent earlier_key_schemes=1
                     e send {event} ce-type: rent-payment; ce-id: three | {rent}
                     e expect 200; delivered
                     h1 wait quiet 200
@@ -52,14 +52,14 @@
                     """);
             run(scenario, """
                     relay hangup
-                    relay expect example.one.expect_refuse: expected 1s, got none (table rules: rule a does not match)
+                    relay expect reload.rejected fault= ... example.one.expect_refuse: expected 1s, got none (table rules: rule a does not match)
                     c send POST /status-update; {org} X-Txn: a | x
                     c expect 503
                     """);
             writeRules("[rule a]\nwhen = request.size == 2\nrefuse = duration('1s')\n");
             run(scenario, """
                     relay hangup
-                    relay expect 1 rules, 0 examples hold
+                    relay expect rules.applied earlier_key_schemes=0 rules=1 examples=0
                     c send POST /status-update; {org} X-Txn: a | x
                     c expect 202
                     c send POST /status-update; {org} X-Txn: b | xx
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -109,13 +109,15 @@
             for (int i = 0; i < 700; i++) {
                 String id = "m" + i;
                 boolean due = i % 2 == 0;
-                long by = clock.now() + (due ? -1_000 + i : 20_000) * Clock.MS;
+                long by = clock.now() + (due ? -1_000 + i : 20_000) * Clock.MILLISECOND_NS;
                 ActiveRequest.Message m = new ActiveRequest.Message(
                         id, (byte) 0, i % 3, 0, 1, by, by, false, true, "k" + i, new byte[200]);
                 assertTrue(journal.accepted(m));
                 if (i % 5 == 1) {
                     journal.completed(
-                            m, i % 4 == 1 ? FinalOutcome.FAILED : FinalOutcome.rejected(500 * Clock.MS), true);
+                            m,
+                            i % 4 == 1 ? FinalOutcome.FAILED : FinalOutcome.rejected(500 * Clock.MILLISECOND_NS),
+                            true);
                     owed.add(id);
                     continue;
                 }
