--- a/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -39,7 +39,7 @@
 
         @Override
         public long wallMs() {
-            return EPOCH_MS + time.now() / MS;
+            return EPOCH_MS + time.now() / MILLISECOND_NS;
         }
     }
 
