--- a/src/test/java/elderseam/compat/ManualClock.java
+++ b/src/test/java/elderseam/compat/ManualClock.java
@@ -23,6 +23,6 @@
 
     @Override
     public long wallMs() {
-        return WALL_MS + nowNs / MS;
+        return WALL_MS + nowNs / MILLISECOND_NS;
     }
 }
