--- a/src/main/java/elderseam/testkit/acme/StandInAuthority.java
+++ b/src/main/java/elderseam/testkit/acme/StandInAuthority.java
@@ -65,17 +65,25 @@
     }
 
     private static final String ERROR = "urn:ietf:params:acme:error:";
-    private static final int MOST_BODY = 32 << 10, MOST_CONNECTIONS = 32, MOST_NONCES = 1_000, MOST_KEPT = 1_000;
+    private static final int MOST_BODY = 32 << 10;
+    private static final int MOST_CONNECTIONS = 32;
+    private static final int MOST_NONCES = 1_000;
+    private static final int MOST_KEPT = 1_000;
     private static final long VALIDATE_NS = 3_000 * Clock.MILLISECOND_NS;
 
     private record Account(String url, PublicJsonWebKey key) {}
 
     private static final class Authorization {
-        String name, token, account, status = "pending";
+        String name;
+        String token;
+        String account;
+        String status = "pending";
     }
 
     private static final class Order {
-        String account, status = "pending", chain;
+        String account;
+        String status = "pending";
+        String chain;
         final List<Integer> authorizations = new ArrayList<>();
         final Set<String> names = new LinkedHashSet<>();
     }
@@ -102,7 +110,8 @@
     private final EndpointConnectionPool connections;
     private final HttpServer server;
     private final int challengePort;
-    private final Duration before, after;
+    private final Duration before;
+    private final Duration after;
     private volatile int ordered;
     private final AtomicInteger signed = new AtomicInteger();
     private final KeyPair rootKey = KeyPairUtils.createKeyPair(2048);
--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -22,14 +22,15 @@
  * what it holds at its end is lost, but for the oracle's.
  */
 final class BaselineDispatcher implements EmulatedDispatcher {
-    private static final long MARGIN_NS = 100 * Policies.MS,
-            BACK_NS = 100 * Policies.MS,
-            MOST_BACK_NS = 2_000 * Policies.MS;
+    private static final long MARGIN_NS = 100 * Policies.MS;
+    private static final long BACK_NS = 100 * Policies.MS;
+    private static final long MOST_BACK_NS = 2_000 * Policies.MS;
 
     static final class Held {
         final ActiveRequest.Message m;
         int attempts;
-        boolean out, maybeRan;
+        boolean out;
+        boolean maybeRan;
 
         Held(ActiveRequest.Message m) {
             this.m = m;
--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -96,10 +96,13 @@
      * its square root (Netflix concurrency-limits, "Gradient2").
      */
     static final class Gradient extends BaselinePolicy {
-        private static final double SMOOTHING = 0.2, TOLERANCE = 1.5, DROP = 0.9;
+        private static final double SMOOTHING = 0.2;
+        private static final double TOLERANCE = 1.5;
+        private static final double DROP = 0.9;
 
         private static final class State {
-            double limit = 20, longRtt;
+            double limit = 20;
+            double longRtt;
             int out;
         }
 
@@ -137,7 +140,8 @@
      * others, "Site Reliability Engineering", chapter 21), with K = 2.
      */
     static final class Throttle extends BaselinePolicy {
-        private static final double K = 2, HALF_LIFE_NS = 60e9;
+        private static final double K = 2;
+        private static final double HALF_LIFE_NS = 60e9;
 
         private final SplittableRandom random;
         private final Map<Long, double[]> counts = new HashMap<>(); // asked, accepted, when
--- a/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
+++ b/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
@@ -11,9 +11,12 @@
 
 /** Everybody who hands messages in, and the front layer that picks a dispatcher: arrivals do not wait for answers (open loop). */
 final class ClientPopulation {
-    private static final long MS = EmulatedWorld.MS, S = EmulatedWorld.S, DAY_NS = 86_400 * S;
+    private static final long MS = EmulatedWorld.MS;
+    private static final long S = EmulatedWorld.S;
+    private static final long DAY_NS = 86_400 * S;
     private static final byte[] BODY = new byte[200];
-    private static final double BURST_SHARE = 0.1, BURST_S = 1;
+    private static final double BURST_SHARE = 0.1;
+    private static final double BURST_S = 1;
 
     private static final class Open {
         final Msg m;
@@ -27,7 +30,10 @@
 
     private final EmulatedWorld world;
     private final Scenario plan;
-    private final UniformRandomProvider arrivals, choices, front, habits;
+    private final UniformRandomProvider arrivals;
+    private final UniformRandomProvider choices;
+    private final UniformRandomProvider front;
+    private final UniformRandomProvider habits;
     private final Map<String, Open> open = new HashMap<>();
     private final double[] upTo; // of destinations: the rates added up
     private final EmulatedDestination[] order;
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -13,9 +13,11 @@
  * cold return after one, in which it stands a share of its calls at first and falls over when pushed above a multiple of that.
  */
 final class EmulatedDestination {
-    private static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long S = 1_000 * MS;
     private static final double CHANCE = 8; // calls at once that say nothing: they come at random
-    private static final long ERROR_NS = 10 * MS, FLAP_NS = S;
+    private static final long ERROR_NS = 10 * MS;
+    private static final long FLAP_NS = S;
 
     /** What a call gets, so long after it came; {@code ranNs}: after how long the destination acts on it, -1 for never. */
     record Reply(Progress progress, Status status, long afterNs, long waitNs, double left, double perS, long ranNs) {
@@ -36,8 +38,14 @@
     private final WorldListener watcher;
     private final List<Spell> spells = new ArrayList<>();
     private final List<PriorityQueue<Long>> busy = new ArrayList<>(); // of each endpoint: when its calls are done
-    private double bucket, load;
-    private long bucketAt, loadAt, window, inWindow, warmFrom = Long.MIN_VALUE / 2, downUntil;
+    private double bucket;
+    private double load;
+    private long bucketAt;
+    private long loadAt;
+    private long window;
+    private long inWindow;
+    private long warmFrom = Long.MIN_VALUE / 2;
+    private long downUntil;
     private double spare = 1;
     private long spareAt;
 
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -11,8 +11,8 @@
 
 /** Connections and what travels on them: delays, losses, resets, late answers. One for the world. */
 final class EmulatedNetwork {
-    private static final long MS = 1_000_000,
-            LISTENS_NS = 1_000 * MS; // for the late answer of a call that was given up
+    private static final long MS = 1_000_000;
+    private static final long LISTENS_NS = 1_000 * MS; // for the late answer of a call that was given up
 
     private final VirtualTime time;
     private final Scenario.Network plan;
@@ -47,7 +47,9 @@
     }
 
     final class Call implements EndpointCall {
-        private final int dispatcher, number, endpoint;
+        private final int dispatcher;
+        private final int number;
+        private final int endpoint;
         private final java.util.function.BooleanSupplier alive;
         private final Msg m;
         private final EmulatedDestination to;
@@ -55,7 +57,8 @@
         private final AttemptListener attempt;
         private final String name;
         private Progress progress = Progress.NOT_CONNECTED;
-        private boolean over, left;
+        private boolean over;
+        private boolean left;
 
         private Call(
                 int dispatcher,
--- a/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -21,8 +21,11 @@
 
 /** One run of a plan: destinations, network, discovery, the fleet and its restarts; what happens is told to watchers. */
 public final class EmulatedWorld {
-    static final long MS = 1_000_000, S = 1_000 * MS;
-    private static final long DRAIN_NS = 5 * S, TERM_NS = 3_300 * MS, CLOSING_NS = 300 * MS;
+    static final long MS = 1_000_000;
+    static final long S = 1_000 * MS;
+    private static final long DRAIN_NS = 5 * S;
+    private static final long TERM_NS = 3_300 * MS;
+    private static final long CLOSING_NS = 300 * MS;
 
     /** A dispatcher's place in the fleet; processes come and go there. */
     final class Seat implements EmulatedDispatcher.Place {
@@ -31,7 +34,8 @@
         final PartitionView.View view = new PartitionView.View();
         EmulatedDispatcher instance;
         long life;
-        boolean up, accepting;
+        boolean up;
+        boolean accepting;
 
         Seat(int number) {
             this.number = number;
@@ -240,7 +244,8 @@
 
     private void troubles() {
         for (Scenario.Trouble t : plan.troubles()) {
-            long from = (long) (t.at() * S), to = (long) ((t.at() + t.lasts()) * S);
+            long from = (long) (t.at() * S);
+            long to = (long) ((t.at() + t.lasts()) * S);
             for (EmulatedDestination d : part(t.kind(), t.part(), t.name())) {
                 d.trouble(from, to, t.fault(), t.factor());
                 time.at(from, () -> watcher.trouble(time.now(), d.id, true));
@@ -277,8 +282,8 @@
         }
         for (Seat s : seats) {
             long at = time.now() + (long) (plan.discovery().lateMs() * MS);
-            long downFrom = (long) (plan.discovery().downAt() * S),
-                    downTo = downFrom + (long) (plan.discovery().downFor() * S);
+            long downFrom = (long) (plan.discovery().downAt() * S);
+            long downTo = downFrom + (long) (plan.discovery().downFor() * S);
             time.at(at >= downFrom && at < downTo ? downTo : at, () -> {
                 if (s.up) {
                     s.instance.hosts(ListUpdateKind.CHANGES, List.of(now));
@@ -300,8 +305,8 @@
             int n = (int) Math.max(1, Math.round(r.part() * order.size()));
             for (int i = 0; i < n; i++) {
                 Seat s = order.get(i);
-                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S),
-                        down = (long) (r.downMs() * MS);
+                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S);
+                long down = (long) (r.downMs() * MS);
                 time.at(at, () -> {
                     if (!s.up) {
                         return;
--- a/src/main/java/elderseam/testkit/emulator/PartitionView.java
+++ b/src/main/java/elderseam/testkit/emulator/PartitionView.java
@@ -19,7 +19,9 @@
  * after five to eight (a suspicion of 4 s and a probe's wait), where it was not back before.
  */
 final class PartitionView {
-    private static final long S = 1_000_000_000L, HOLD_NS = 20 * S, LOOK_NS = 250_000_000L;
+    private static final long S = 1_000_000_000L;
+    private static final long HOLD_NS = 20 * S;
+    private static final long LOOK_NS = 250_000_000L;
 
     /** What each dispatcher knows of the others. */
     static final class View {
--- a/src/main/java/elderseam/testkit/emulator/Policies.java
+++ b/src/main/java/elderseam/testkit/emulator/Policies.java
@@ -13,7 +13,8 @@
 
 /** The policies that there are, by name; the settings that all of them are given. */
 public final class Policies {
-    static final long MS = 1_000_000, S = 1_000 * MS;
+    static final long MS = 1_000_000;
+    static final long S = 1_000 * MS;
     static final long AGAIN_NS = 500 * MS; // a refusal's time to come back, of a plain policy
     /** The classes of every emulated world: safe to repeat, keyed, once only. */
     public static final List<RequestClass> CLASSES = List.of(
--- a/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/PolicyDispatcher.java
@@ -22,7 +22,8 @@
 
 /** The real module behind the real facade, with the real core and its journal, on virtual time and a store in memory. */
 final class PolicyDispatcher implements EmulatedDispatcher, EventLoop, Frontend, AttemptSender {
-    private static final long JOURNAL_BYTES = 8_000_000, EPOCH_MS = 1_800_000_000_000L;
+    private static final long JOURNAL_BYTES = 8_000_000;
+    private static final long EPOCH_MS = 1_800_000_000_000L;
 
     /** The clocks of the emulated process. */
     private static final class Virtual extends Clock {
--- a/src/main/java/elderseam/testkit/emulator/RandomStreams.java
+++ b/src/main/java/elderseam/testkit/emulator/RandomStreams.java
@@ -29,7 +29,8 @@
 
     /** A normal number of such chances (Box and Muller 1958). */
     static double normal(long seed, String id, int attempt, int what) {
-        double u = 1 - unit(seed, id, attempt, what), v = unit(seed, id, attempt, what + 1);
+        double u = 1 - unit(seed, id, attempt, what);
+        double v = unit(seed, id, attempt, what + 1);
         return Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * v);
     }
 
--- a/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
+++ b/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
@@ -36,11 +36,11 @@
         }
     }
 
-    private static final long MS = 1_000_000,
-            LATE_NS = 50 * MS,
-            DRAIN_GRACE_NS = 2_000 * MS,
-            WAIT_GRACE_NS = MS,
-            KEY_WINDOW_NS = 6_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long LATE_NS = 50 * MS;
+    private static final long DRAIN_GRACE_NS = 2_000 * MS;
+    private static final long WAIT_GRACE_NS = MS;
+    private static final long KEY_WINDOW_NS = 6_000 * MS;
     private static final long AWAY_NS = 1_500 * MS; // what a process owed while it was away it tells within this
     private static final int MOST_WORDS = 20;
 
@@ -48,14 +48,15 @@
     private final Map<String, Integer> out = new HashMap<>(); // by message
     private final Map<String, Long> ran = new HashMap<>(); // by message: when it last took effect
     private final Map<Integer, Integer> outOf = new HashMap<>(); // by dispatcher
-    private final Map<String, Long> waits = new HashMap<>(),
-            drains = new HashMap<>(); // by dispatcher and destination or endpoint
+    private final Map<String, Long> waits = new HashMap<>();
+    private final Map<String, Long> drains = new HashMap<>(); // by dispatcher and destination or endpoint
     private final Map<Integer, Map<String, Integer>> outBy = new HashMap<>();
     private final Map<String, Integer> holders = new HashMap<>(); // by message: who took it on last
     private final Map<Integer, Long> started = new HashMap<>(); // by dispatcher, where it was started anew
     private final Map<Rule, Integer> broken = new LinkedHashMap<>();
     private final StringBuilder words = new StringBuilder();
-    private int felled, told;
+    private int felled;
+    private int told;
 
     public RuleCheckers(int slots) {
         this.slots = slots;
--- a/src/main/java/elderseam/testkit/emulator/RunStatistics.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -9,18 +9,31 @@
 
 /** What a run came to: service, latencies by class, refusals, calls; by the second where messages were born. */
 public final class RunStatistics implements WorldListener {
-    private static final long S = 1_000_000_000L, MS = 1_000_000L;
+    private static final long S = 1_000_000_000L;
+    private static final long MS = 1_000_000L;
     private static final int WORST_S = 10;
 
-    private final double[] possible, worth;
-    private final int[] refusedAt, callsAt, failedAt;
+    private final double[] possible;
+    private final double[] worth;
+    private final int[] refusedAt;
+    private final int[] callsAt;
+    private final int[] failedAt;
     private final Histogram[] latency = new Histogram[3];
-    private int messages, delivered, refused, failed, lost, handed, calls, failedCalls, callsInTrouble;
+    private int messages;
+    private int delivered;
+    private int refused;
+    private int failed;
+    private int lost;
+    private int handed;
+    private int calls;
+    private int failedCalls;
+    private int callsInTrouble;
     private final Map<Long, Integer> troubled = new HashMap<>();
     private final Map<String, Map<Integer, Long>> connected =
             new HashMap<>(); // by endpoint and dispatcher: until when at least
     private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
-    private int connections, mostConnected;
+    private int connections;
+    private int mostConnected;
 
     public RunStatistics(Scenario plan) {
         int n = (int) Math.ceil(plan.seconds()) + 60;
@@ -120,7 +133,8 @@
 
     /** The same of the ten seconds that came off worst, of those with a tenth of the usual messages or more. */
     public double worst() {
-        double worst = 1, usual = sum(possible, 0, possible.length) / possible.length * WORST_S;
+        double worst = 1;
+        double usual = sum(possible, 0, possible.length) / possible.length * WORST_S;
         for (int i = 0; i + WORST_S <= possible.length; i++) {
             double p = sum(possible, i, i + WORST_S);
             worst = p > usual / 10 ? Math.min(worst, sum(worth, i, i + WORST_S) / p) : worst;
@@ -163,7 +177,8 @@
 
     /** The most calls at an endpoint over the mean of its destination, over all destinations by their calls. */
     private double unevenness() {
-        double sum = 0, weight = 0;
+        double sum = 0;
+        double weight = 0;
         for (Map<String, Integer> of : byEndpoint.values()) {
             int all = of.values().stream().mapToInt(n -> n).sum();
             sum += (double) of.values().stream().mapToInt(n -> n).max().orElse(0) * of.size();
--- a/src/main/java/elderseam/testkit/emulator/ScenarioFile.java
+++ b/src/main/java/elderseam/testkit/emulator/ScenarioFile.java
@@ -57,11 +57,11 @@
     }
 
     private Scenario plan() {
-        Section scenario = one("scenario"),
-                fleet = one("fleet"),
-                clients = one("clients"),
-                network = one("network"),
-                discovery = one("discovery");
+        Section scenario = one("scenario");
+        Section fleet = one("fleet");
+        Section clients = one("clients");
+        Section network = one("network");
+        Section discovery = one("discovery");
         Scenario plan = new Scenario(
                 scenario == null ? "" : scenario.name(),
                 number(scenario, "seconds", 0.1, 1_000_000, 60),
--- a/src/main/java/elderseam/testkit/emulator/VirtualTime.java
+++ b/src/main/java/elderseam/testkit/emulator/VirtualTime.java
@@ -12,7 +12,8 @@
     }
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private long now, numbers;
+    private long now;
+    private long numbers;
 
     public long now() {
         return now;
--- a/src/main/java/elderseam/testkit/faults/ClusterMember.java
+++ b/src/main/java/elderseam/testkit/faults/ClusterMember.java
@@ -26,7 +26,8 @@
     private final Map<String, String> variables;
     private final Consumer<LogLine> log;
     private Process process;
-    private volatile CompletableFuture<String> serving, control;
+    private volatile CompletableFuture<String> serving;
+    private volatile CompletableFuture<String> control;
     private long startedNs;
     private volatile long readyNs;
 
@@ -60,7 +61,8 @@
         startedNs = System.nanoTime();
         process = b.redirectErrorStream(true).start();
         BufferedReader lines = process.inputReader();
-        CompletableFuture<String> serves = serving, controls = control;
+        CompletableFuture<String> serves = serving;
+        CompletableFuture<String> controls = control;
         Thread reader = new Thread(() -> read(lines, serves, controls), "log-" + name);
         reader.setDaemon(true);
         reader.start();
--- a/src/main/java/elderseam/testkit/faults/ExternalServices.java
+++ b/src/main/java/elderseam/testkit/faults/ExternalServices.java
@@ -21,7 +21,8 @@
 
 /** All the outside of a fleet in one place: discovery, the place for notices, one partner that delivers, and a client. */
 final class ExternalServices {
-    private static final long WATCH_NS = 1_000 * Clock.MILLISECOND_NS, PATIENCE_NS = 5_000 * Clock.MILLISECOND_NS;
+    private static final long WATCH_NS = 1_000 * Clock.MILLISECOND_NS;
+    private static final long PATIENCE_NS = 5_000 * Clock.MILLISECOND_NS;
     private static final String SETTINGS = """
             {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
@@ -33,10 +34,10 @@
     private final IoLoop io;
     private final HttpServer server;
     private final EndpointConnectionPool client;
-    private final AtomicLong delivered = new AtomicLong(),
-            sent = new AtomicLong(),
-            lists = new AtomicLong(),
-            failed = new AtomicLong();
+    private final AtomicLong delivered = new AtomicLong();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong lists = new AtomicLong();
+    private final AtomicLong failed = new AtomicLong();
     private final int members;
     private final List<HttpServer> more = new ArrayList<>(); // the further endpoints of the first destination
     private final AtomicLongArray calls; // at each endpoint of it
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -48,15 +48,16 @@
                         c.group().size() - 1,
                         System.nanoTime() + 30_000_000_000L);
             }
-            long lists = c.outside().lists(), cpu = cpu(c);
+            long lists = c.outside().lists();
+            long cpu = cpu(c);
             ProcessCluster.pause(SPAN_S * 1_000L); // the span that is measured
             f.put("discovery_calls_per_s_" + word, (double) (c.outside().lists() - lists) / SPAN_S);
             f.put(
                     "idle_cpu_percent_" + word,
                     (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
-            Histogram ready = new Histogram(600_000L, 3),
-                    memory = new Histogram(64_000_000L, 3),
-                    threads = new Histogram(10_000L, 3);
+            Histogram ready = new Histogram(600_000L, 3);
+            Histogram memory = new Histogram(64_000_000L, 3);
+            Histogram threads = new Histogram(10_000L, 3);
             for (String name : c.group()) {
                 ClusterMember m = c.member(name);
                 ready.recordValue(m.startMs());
--- a/src/main/java/elderseam/testkit/faults/HistoryCheckers.java
+++ b/src/main/java/elderseam/testkit/faults/HistoryCheckers.java
@@ -63,7 +63,8 @@
                 String holder = l.get("holder").asText();
                 TreeMap<Long, Belief> tokens =
                         beliefs.computeIfAbsent(l.get("lease").asText(), k -> new TreeMap<>());
-                long token = l.get("token").asLong(), until = l.get("until_ns").asLong();
+                long token = l.get("token").asLong();
+                long until = l.get("until_ns").asLong();
                 Belief b = tokens.get(token);
                 if (b != null && !b.holder.equals(holder)) {
                     found.add("lease safety: token " + token + " was granted to " + b.holder + " and to " + holder);
@@ -107,8 +108,10 @@
             if (!l.get("type").asText().equals("effect")) {
                 continue;
             }
-            String lease = l.get("lease").asText(), holder = l.get("holder").asText();
-            long token = l.get("token").asLong(), seen = newest.getOrDefault(lease, 0L);
+            String lease = l.get("lease").asText();
+            String holder = l.get("holder").asText();
+            long token = l.get("token").asLong();
+            long seen = newest.getOrDefault(lease, 0L);
             String first = holders.putIfAbsent(lease + " " + token, holder);
             if (first != null && !first.equals(holder)) {
                 found.add("fencing: token " + token + " acted for " + first + " and for " + holder);
@@ -163,8 +166,8 @@
         Map<Long, String> hashes = new HashMap<>();
         for (JsonNode l : lines) {
             if (l.get("type").asText().equals("acting")) {
-                String hash = l.get("hash").asText(),
-                        first = hashes.putIfAbsent(l.get("number").asLong(), hash);
+                String hash = l.get("hash").asText();
+                String first = hashes.putIfAbsent(l.get("number").asLong(), hash);
                 if (first != null && !first.equals(hash)) {
                     found.add("agreement: version " + l.get("number").asLong() + " is " + first + " and " + hash);
                 }
@@ -249,7 +252,8 @@
     /** Each process's acting, spans of one version joined, in the order of their beginnings. */
     private List<Acting> actings() {
         List<Acting> all = new ArrayList<>();
-        Map<String, Acting> now = new HashMap<>(), stopped = new HashMap<>();
+        Map<String, Acting> now = new HashMap<>();
+        Map<String, Acting> stopped = new HashMap<>();
         long last =
                 lines.isEmpty() ? 0 : lines.get(lines.size() - 1).get("at_ns").asLong();
         for (JsonNode l : lines) {
@@ -257,8 +261,8 @@
             long at = l.get("at_ns").asLong();
             if (type.equals("acting")) {
                 String process = l.get("process").asText();
-                long number = l.get("number").asLong(),
-                        until = l.get("until_ns").asLong();
+                long number = l.get("number").asLong();
+                long until = l.get("until_ns").asLong();
                 Acting before = now.get(process);
                 if (before != null && before.number == number && before.until >= at) {
                     now.put(process, new Acting(process, number, before.from, until));
@@ -294,7 +298,8 @@
     List<Long> takeovers() {
         List<Long> all = new ArrayList<>();
         String acting = "";
-        long killed = -1, token = 0;
+        long killed = -1;
+        long token = 0;
         for (JsonNode l : lines) {
             String type = l.get("type").asText();
             if (type.equals("effect") && l.get("admitted").asBoolean()) {
--- a/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
@@ -133,7 +133,8 @@
     }
 
     static void play(ProcessCluster c, FaultSchedule plan, List<FaultInjection> faults) throws IOException {
-        long began = System.nanoTime(), ends = began + plan.roundMs() * 1_000_000;
+        long began = System.nanoTime();
+        long ends = began + plan.roundMs() * 1_000_000;
         for (FaultInjection f : faults) {
             until(c, began + f.atMs() * 1_000_000);
             c.befall(f);
@@ -151,7 +152,8 @@
     /** Waits, and lets stalled members go at their times. */
     private static void until(ProcessCluster c, long atNs) throws IOException {
         while (true) {
-            long now = System.nanoTime(), next = Math.min(atNs, c.resume(now));
+            long now = System.nanoTime();
+            long next = Math.min(atNs, c.resume(now));
             if (now >= atNs) {
                 return;
             }
--- a/src/main/java/elderseam/testkit/faults/LinkTable.java
+++ b/src/main/java/elderseam/testkit/faults/LinkTable.java
@@ -14,7 +14,9 @@
 
     private final Set<Link> cut = new HashSet<>();
     private final SplittableRandom random = new SplittableRandom(1);
-    private long delayMs, lossPercent, lost;
+    private long delayMs;
+    private long lossPercent;
+    private long lost;
 
     /** Cuts what {@code from} sends to {@code to}; the other way is a link of its own. */
     synchronized void cut(String from, String to) {
--- a/src/main/java/elderseam/testkit/faults/ProcessCluster.java
+++ b/src/main/java/elderseam/testkit/faults/ProcessCluster.java
@@ -19,7 +19,8 @@
 
 /** The processes of one test with the stand-ins round them, and what can be done to them. One thread uses it. */
 final class ProcessCluster implements Closeable {
-    static final String LEASE = "rehearsal", STORE = "store";
+    static final String LEASE = "rehearsal";
+    static final String STORE = "store";
     private static final AtomicInteger CLUSTERS = new AtomicInteger();
     private static final int PORT = 9_000;
 
@@ -28,7 +29,8 @@
      * and by which rule a lease on gossip alone is held ("lowest" or "majority"; "": no gossip).
      */
     record Setup(boolean leases, UnaryOperator<String> lines, boolean acts, boolean fenced, String gossip) {
-        static final Setup USUAL = new Setup(true, "", true, true), OFF = new Setup(false, "", false, true);
+        static final Setup USUAL = new Setup(true, "", true, true);
+        static final Setup OFF = new Setup(false, "", false, true);
 
         Setup(boolean leases, String lines, boolean acts, boolean fenced) {
             this(leases, name -> lines, acts, fenced, "");
@@ -59,7 +61,8 @@
     private final Map<String, Long> pids = new ConcurrentHashMap<>();
     private final Map<String, Long> stalled = new LinkedHashMap<>(); // until when, of the machine's clock
     private final List<String> group = new ArrayList<>(); // who is in the lease group
-    private volatile String leader = "", holder = "";
+    private volatile String leader = "";
+    private volatile String holder = "";
     private volatile FencedStore.Effect newest;
     private final Map<String, List<LogLine>> logged = new LinkedHashMap<>(); // by member; guarded by itself
     private int named;
--- a/src/main/java/elderseam/testkit/faults/SocketOwner.java
+++ b/src/main/java/elderseam/testkit/faults/SocketOwner.java
@@ -27,8 +27,8 @@
     }
 
     private static String inode(int localPort, int remotePort) throws IOException {
-        String local = String.format(Locale.ROOT, ":%04X", localPort),
-                remote = String.format(Locale.ROOT, ":%04X", remotePort);
+        String local = String.format(Locale.ROOT, ":%04X", localPort);
+        String remote = String.format(Locale.ROOT, ":%04X", remotePort);
         for (String table : List.of("/proc/net/tcp6", "/proc/net/tcp")) {
             if (!Files.exists(Path.of(table))) {
                 continue;
--- a/src/main/java/elderseam/testkit/faults/VersionTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/VersionTestRun.java
@@ -15,7 +15,8 @@
  * and after the heal all have to act on the latest. The checker of agreement reads who acted on what, and until when.
  */
 final class VersionTestRun {
-    static final long BOUND_MS = 1_000, LIVENESS_MS = 30_000;
+    static final long BOUND_MS = 1_000;
+    static final long LIVENESS_MS = 30_000;
     /** What is allowed beside T: an answer's way, the drift of clocks over T, and a timer of 20 ms that comes late on a loaded machine. */
     static final long CLOCK_MS = 250;
     /** While one member leads all switch this close to each other: an answer's way over links that a nemesis delays by up to 64 ms each
@@ -23,8 +24,8 @@
     static final long STEP_MS = 300;
 
     private static final int QUIET_EVERY = 4;
-    private static final long QUIET_MS = 3_000,
-            LONG_MS = 8_000; // the longer one outlasts an election before the commit
+    private static final long QUIET_MS = 3_000;
+    private static final long LONG_MS = 8_000; // the longer one outlasts an election before the commit
     static final List<String> PLANTS = List.of("no-confirm", "at-commit");
 
     private VersionTestRun() {}
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDestination.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDestination.java
@@ -9,11 +9,16 @@
  * its calls at first; who pushes it over the multiple of what it stands, for a second and by more than chance, fells it anew.
  */
 final class SimulatedDestination {
-    private static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long S = 1_000 * MS;
     private static final double CHANCE = 8; // calls at once that say nothing: they come at random
-    private static final double SPORADIC = 0.01, SICK = 0.2; // calls that fail without an outage
-    static final double COLD_SHARE = 0.25, FALL_MULTIPLE = 2;
-    static final long COLD_NS = 10 * S, FALL_NS = 2 * S, USUAL_NS = 40 * MS;
+    private static final double SPORADIC = 0.01;
+    private static final double SICK = 0.2; // calls that fail without an outage
+    static final double COLD_SHARE = 0.25;
+    static final double FALL_MULTIPLE = 2;
+    static final long COLD_NS = 10 * S;
+    static final long FALL_NS = 2 * S;
+    static final long USUAL_NS = 40 * MS;
 
     /** How it fails in an outage. */
     enum Fault {
@@ -34,10 +39,15 @@
     private final long seed;
     private double load; // calls above what it stands for the multiple, and when that was taken
     private long loadAt;
-    private long downUntil, warmFrom = Long.MIN_VALUE / 2, shutUntil;
-    private long sickFrom, sickTo;
+    private long downUntil;
+    private long warmFrom = Long.MIN_VALUE / 2;
+    private long shutUntil;
+    private long sickFrom;
+    private long sickTo;
     private Outage last;
-    int felled, calls, callsWhileDown;
+    int felled;
+    int calls;
+    int callsWhileDown;
 
     SimulatedDestination(long id, double perS, List<Outage> outages, long seed) {
         this.id = id;
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -32,7 +32,8 @@
  * wait, no more calls than slots.
  */
 final class SimulatedDispatcher implements PolicyActions, SimulatedFleet.Dispatching {
-    private static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long S = 1_000 * MS;
     private static final List<RequestClass> CLASSES = Policies.CLASSES;
 
     /** What it came to: of all messages, by worth; {@code broken}: rules broken. */
@@ -49,8 +50,11 @@
     private static final class Held {
         final String id;
         final int cls;
-        final long destination, born, deadline;
-        int attempts, out = -1;
+        final long destination;
+        final long born;
+        final long deadline;
+        int attempts;
+        int out = -1;
         boolean maybeRan;
 
         Held(String id, int cls, long destination, long born, long deadline) {
@@ -73,8 +77,16 @@
     private final Map<String, Held> held = new HashMap<>();
     private final Map<Long, Long> waits = new HashMap<>();
     private final List<Runnable> after = new ArrayList<>(); // timers asked for in an event
-    private int ids, out, messages, calls, failedCalls, refusals, failures, broken;
-    private double worth, possible;
+    private int ids;
+    private int out;
+    private int messages;
+    private int calls;
+    private int failedCalls;
+    private int refusals;
+    private int failures;
+    private int broken;
+    private double worth;
+    private double possible;
     private long until;
 
     SimulatedDispatcher(
--- a/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedFleet.java
@@ -68,8 +68,12 @@
         final long clockOff;
         GossipAgent agent;
         Dispatching dispatching;
-        long tickAt = Long.MAX_VALUE, lives, bytes, datagrams;
-        boolean up, hung;
+        long tickAt = Long.MAX_VALUE;
+        long lives;
+        long bytes;
+        long datagrams;
+        boolean up;
+        boolean hung;
         final List<Runnable> whileHung = new ArrayList<>();
 
         Node(String name, int side, long clockOff) {
@@ -88,8 +92,10 @@
     }
 
     private final GossipTimings tempo;
-    private final double loss, repeat;
-    private final SplittableRandom seeds, network;
+    private final double loss;
+    private final double repeat;
+    private final SplittableRandom seeds;
+    private final SplittableRandom network;
     private final VirtualTime time;
     private final Map<String, Node> nodes = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
@@ -343,7 +349,8 @@
         }
         Packet states = a.agent.fullState(false, a.now());
         a.bytes += whole(states);
-        long lifeA = a.lives, wall = a.wallMs();
+        long lifeA = a.lives;
+        long wall = a.wallMs();
         time.at(
                 time.now() + delay(),
                 () -> on(b, b.lives, () -> {
--- a/src/main/java/elderseam/testkit/gossip/SimulatedService.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedService.java
@@ -39,7 +39,8 @@
     private static final double LOAD = 0.6; // of what the partners stand together
     private static final int PARTNERS = 8;
     private static final double UNEVEN = 100; // between those whose clients want a partner most and least
-    private static final double BUSY = 8, RARE = 1; // calls a second that a partner stands, for each dispatcher
+    private static final double BUSY = 8;
+    private static final double RARE = 1; // calls a second that a partner stands, for each dispatcher
 
     public static SimulatedService run(int instances, double loss, int liars, boolean gossip, long seed) {
         if (instances < 3 || instances > 1_000 || liars < 0 || liars >= instances) {
@@ -72,8 +73,14 @@
             }
         }
         fleet.pass(150 * S);
-        double worth = 0, possible = 0;
-        int messages = 0, calls = 0, failedCalls = 0, refusals = 0, failures = 0, broken = 0;
+        double worth = 0;
+        double possible = 0;
+        int messages = 0;
+        int calls = 0;
+        int failedCalls = 0;
+        int refusals = 0;
+        int failures = 0;
+        int broken = 0;
         for (int i = 0; i < instances; i++) {
             SimulatedDispatcher.Tally t = all.get(i).tally();
             broken += t.broken();
--- a/src/main/java/elderseam/testkit/gossip/SimulationRun.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulationRun.java
@@ -32,7 +32,8 @@
         long suspectedMs,
         long deadMs,
         long allMs) {
-    private static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long S = 1_000 * MS;
 
     public static SimulationRun run(int instances, double loss, boolean localHealth, int undisturbedS, long seed) {
         if (instances < 3 || instances > 1_000 || loss < 0 || loss > 0.9 || undisturbedS < 1) {
--- a/src/main/java/elderseam/testkit/lab/ChartRenderer.java
+++ b/src/main/java/elderseam/testkit/lab/ChartRenderer.java
@@ -20,7 +20,10 @@
     /** Something that was done to the world from then to then, in seconds. */
     record Band(double from, double to, String what, String colour) {}
 
-    private static final int WIDTH = 960, HEIGHT = 260, ROW = 10, LEFT = 60;
+    private static final int WIDTH = 960;
+    private static final int HEIGHT = 260;
+    private static final int ROW = 10;
+    private static final int LEFT = 60;
 
     private ChartRenderer() {}
 
@@ -36,7 +39,8 @@
         chart.getStyler().setAntiAlias(true);
         chart.getStyler().setChartBackgroundColor(Color.WHITE);
         for (Map.Entry<String, double[]> e : all.entrySet()) {
-            List<Double> x = new ArrayList<>(), y = new ArrayList<>();
+            List<Double> x = new ArrayList<>();
+            List<Double> y = new ArrayList<>();
             for (int i = 0; i < e.getValue().length; i++) {
                 if (!Double.isNaN(e.getValue()[i])) {
                     x.add((double) i);
@@ -64,7 +68,8 @@
 
     /** A row a destination, a cell a second: 0 white, 1 yellow, 2 red; behind them what was done to the world. */
     static String timeline(Map<Long, byte[]> all, List<Band> bands) {
-        int seconds = all.values().iterator().next().length, height = all.size() * ROW + 20;
+        int seconds = all.values().iterator().next().length;
+        int height = all.size() * ROW + 20;
         double cell = (WIDTH - LEFT) / (double) Math.max(1, seconds);
         StringBuilder svg = new StringBuilder(
                 String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\" font-size=\"9\">", WIDTH, height));
--- a/src/main/java/elderseam/testkit/lab/PairedComparison.java
+++ b/src/main/java/elderseam/testkit/lab/PairedComparison.java
@@ -10,7 +10,8 @@
  * 1979; 10,000 resamples, whose seed is fixed). An interval that holds 0 is noise, and so is one of fewer than five pairs.
  */
 public record PairedComparison(int pairs, double meanA, double meanB, double difference, double low, double high) {
-    private static final int RESAMPLES = 10_000, LEAST = 5;
+    private static final int RESAMPLES = 10_000;
+    private static final int LEAST = 5;
 
     public static PairedComparison of(double[] a, double[] b) {
         if (a.length != b.length || a.length == 0) {
--- a/src/main/java/elderseam/testkit/lab/ParameterSweep.java
+++ b/src/main/java/elderseam/testkit/lab/ParameterSweep.java
@@ -74,7 +74,8 @@
             ScenarioFile.of(file, lines, c.set); // every plan of the grid is sound before any runs
         }
         Files.createDirectories(folder);
-        Path results = folder.resolve("runs.jsonl"), copy = folder.resolve("scenario");
+        Path results = folder.resolve("runs.jsonl");
+        Path copy = folder.resolve("scenario");
         byte[] text = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
         if (Files.exists(copy) && !java.util.Arrays.equals(Files.readAllBytes(copy), text)) {
             throw new IOException(folder + ": holds the runs of another scenario, allowed: a folder of its own");
--- a/src/main/java/elderseam/testkit/lab/WorstDaySearch.java
+++ b/src/main/java/elderseam/testkit/lab/WorstDaySearch.java
@@ -28,12 +28,14 @@
         }
     }
 
-    private static final int STARTS = 3, MOST_PARTS = 6;
+    private static final int STARTS = 3;
+    private static final int MOST_PARTS = 6;
     private static final double KEPT = 0.9;
 
     private final List<String> base;
     private final Scenario plan;
-    private final String policy, against;
+    private final String policy;
+    private final String against;
     private final long seed;
     private final UniformRandomProvider random;
     private final Consumer<String> progress;
@@ -118,7 +120,8 @@
         } else if (what == 1 && to.size() > 1) {
             to.remove(random.nextInt(to.size()));
         } else {
-            Part p = to.get(random.nextInt(to.size())), q = any(p.kind, p.name);
+            Part p = to.get(random.nextInt(to.size()));
+            Part q = any(p.kind, p.name);
             List<String> keys = List.copyOf(p.values.keySet());
             String key = keys.get(random.nextInt(keys.size()));
             p.values.put(key, q.values.get(key));
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -174,8 +174,8 @@
     @Test
     void anEarlierBuildHandsOver() throws Exception {
         OlderProcess.recordIfWanted();
-        List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER),
-                toOlder = Recorded.records(OlderProcess.TO_OLDER);
+        List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER);
+        List<byte[]> toOlder = Recorded.records(OlderProcess.TO_OLDER);
         HandoverReceiver receiver = new HandoverReceiver();
         assertEquals(HandoverReceiver.Action.WARM_UP, receiver.onSearched(true, false));
         assertEquals(HandoverReceiver.Action.REQUEST, receiver.onWarmedUp());
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -17,12 +17,13 @@
 /** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
 public final class OlderProcess {
     public static final String LEARNED = "learned/file.hex";
-    static final String JOURNAL = "handover/journal.hex",
-            TO_NEWER = "handover/to-newer.hex",
-            TO_OLDER = "handover/to-older.hex";
+    static final String JOURNAL = "handover/journal.hex";
+    static final String TO_NEWER = "handover/to-newer.hex";
+    static final String TO_OLDER = "handover/to-older.hex";
     /** When it began, and when it passed its work on. */
-    static final long BEGAN_NS = 5_000_000 * Clock.MILLISECOND_NS,
-            PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MILLISECOND_NS;
+    static final long BEGAN_NS = 5_000_000 * Clock.MILLISECOND_NS;
+
+    static final long PASSED_ON_NS = BEGAN_NS + 10_900 * Clock.MILLISECOND_NS;
     /** Destination 1: plain; 2: its breaker opens; 3: routes apart, one in a told wait; 4: back after a drain, so cold. */
     private static final String LIST = "{\"version\":41,\"full\":true,\"servers\":["
             + host("a1", "plain", 1, "SERVING") + "," + host("a2", "plain", 1, "SERVING") + ","
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -22,11 +22,12 @@
 
 /** The journal and the file of what was learned, as an earlier build left them: read, and written again byte for byte. */
 class StoredFormatTest {
-    private static final String RECORDS = "journal/records.hex",
-            COMPACTED = "journal/compacted.hex",
-            AFTER_RESTART = "learned/after-restart.hex",
-            VALUES = "learned/values.hex";
-    private static final long S = 1_000 * Clock.MILLISECOND_NS, CAP = 1_000_000;
+    private static final String RECORDS = "journal/records.hex";
+    private static final String COMPACTED = "journal/compacted.hex";
+    private static final String AFTER_RESTART = "learned/after-restart.hex";
+    private static final String VALUES = "learned/values.hex";
+    private static final long S = 1_000 * Clock.MILLISECOND_NS;
+    private static final long CAP = 1_000_000;
     private static final byte[] SCHEME = "orders = request.headers['x-order']".getBytes(StandardCharsets.UTF_8);
     /** Layout 1, two classes, two kinds, two tenants. */
     private static final int SHAPE = 0x01020202;
--- a/src/test/java/elderseam/figures/GossipMeasurements.java
+++ b/src/test/java/elderseam/figures/GossipMeasurements.java
@@ -18,7 +18,8 @@
                 "dispatchers lying | service off on, worst and median difference | failed calls median (worst) off on"
                         + " | refusals median (worst) off on | calls while down off on | felled off on | rules broken");
         for (int[] f : FLEETS) {
-            List<SimulatedService> off = runs(f, false), on = runs(f, true);
+            List<SimulatedService> off = runs(f, false);
+            List<SimulatedService> on = runs(f, true);
             List<Double> differences = new ArrayList<>();
             for (int i = 0; i < SEEDS; i++) {
                 differences.add(on.get(i).service() - off.get(i).service());
--- a/src/test/java/elderseam/figures/StartupMeasurements.java
+++ b/src/test/java/elderseam/figures/StartupMeasurements.java
@@ -41,8 +41,8 @@
             System.err.println("usage: StartFigures [CORES,... MESSAGES,... ROUNDS [json]], such as 0.3,0.5,1 0,700 5");
             System.exit(2);
         }
-        String[] cores = (args.length > 0 ? args[0] : "0.3,0.5,1").split(","),
-                messages = (args.length > 1 ? args[1] : "0,700").split(",");
+        String[] cores = (args.length > 0 ? args[0] : "0.3,0.5,1").split(",");
+        String[] messages = (args.length > 1 ? args[1] : "0,700").split(",");
         int rounds = args.length > 2 ? Integer.parseInt(args[2]) : 5;
         boolean json = args.length > 3;
         if (!json) {
@@ -57,7 +57,8 @@
                 }
                 System.err.print("\r" + " ".repeat(50) + "\r");
                 starts.sort(Comparator.comparingLong(Start::readyMs));
-                Start middle = starts.get(rounds / 2), worst = starts.get(rounds - 1);
+                Start middle = starts.get(rounds / 2);
+                Start worst = starts.get(rounds - 1);
                 long away = starts.stream().mapToLong(Start::awayMs).max().orElse(0);
                 System.out.printf(
                         Locale.ROOT,
@@ -121,7 +122,8 @@
         Process program = b.start();
         Thread share = new Thread(() -> share(program, signals, cores), "share");
         share.start();
-        long ready = -1, away = 0;
+        long ready = -1;
+        long away = 0;
         try (BufferedReader log = program.inputReader()) {
             for (String line = log.readLine(); line != null; line = log.readLine()) {
                 LogLine logged = LogLine.parse(line).orElse(null);
--- a/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -60,7 +60,8 @@
 
     @Test
     void theSameFolderIsWritten() throws IOException {
-        Map<String, byte[]> recorded = RecordedBytes.files(recorded()), written = RecordedBytes.files(write(folder));
+        Map<String, byte[]> recorded = RecordedBytes.files(recorded());
+        Map<String, byte[]> written = RecordedBytes.files(write(folder));
         assertEquals(recorded.keySet(), written.keySet());
         for (Map.Entry<String, byte[]> file : recorded.entrySet()) {
             if (file.getKey().equals("2.json")) { // texts of several names are written in no fixed order
--- a/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
@@ -19,7 +19,9 @@
 /** The entries of the Raft log, the answers to them and the snapshot, as the first build with versions wrote them. */
 class LeaseLogCompatTest {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final String FIRST = "n1/kx2-17", SECOND = "n2/kx3-18", CERTIFICATE = "certificate:example.org";
+    private static final String FIRST = "n1/kx2-17";
+    private static final String SECOND = "n2/kx3-18";
+    private static final String CERTIFICATE = "certificate:example.org";
     private static final Map<String, String> ONE_TEXT = Map.of("settings.ini", "[rules]\nzone = UTC\n");
     private static final Map<String, String> TWO_TEXTS =
             Map.of("settings.ini", "[rules]\nfiles = r.rules\n", "r.rules", "[table t]\nmatch = first\n");
--- a/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -25,7 +25,8 @@
 class RaftFolderCompatTest {
     private static final String RESOURCE = "lease/raft-folder";
     private static final Map<String, String> TEXTS = Map.of("settings.ini", "[rules]\nzone = UTC\n");
-    private static final long COMMANDS_PER_SNAPSHOT = 6, WAIT_S = 30;
+    private static final long COMMANDS_PER_SNAPSHOT = 6;
+    private static final long WAIT_S = 30;
 
     @TempDir
     Path folder;
--- a/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
@@ -14,8 +14,9 @@
 
 /** Members agree on shares and turns without a word, so members of different builds have to come to the same ones. */
 class PartitionCompatTest {
-    private static final List<String> MEMBERS = List.of("n1", "n2", "n3", "n4", "n5"),
-            HOSTS = List.of("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80");
+    private static final List<String> MEMBERS = List.of("n1", "n2", "n3", "n4", "n5");
+    private static final List<String> HOSTS =
+            List.of("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80");
 
     @Test
     void preferredEndpoints() throws IOException {
--- a/src/test/java/elderseam/scenario/GossipCost.java
+++ b/src/test/java/elderseam/scenario/GossipCost.java
@@ -8,7 +8,8 @@
 
 /** What gossip costs an idle dispatcher: CPU and memory of five processes for a minute, off and on. Run by {@code make figures}. */
 public final class GossipCost {
-    private static final int PROCESSES = 5, SECONDS = 60;
+    private static final int PROCESSES = 5;
+    private static final int SECONDS = 60;
 
     private GossipCost() {}
 
@@ -16,7 +17,8 @@
         for (boolean on : new boolean[] {false, true}) {
             Path folder = Files.createTempDirectory("gossip-cost");
             List<Scenario> all = new ArrayList<>();
-            List<String> roster = new ArrayList<>(), at = new ArrayList<>();
+            List<String> roster = new ArrayList<>();
+            List<String> at = new ArrayList<>();
             for (int i = 0; i < PROCESSES; i++) {
                 at.add(RawHttpSocket.own().getHostAddress());
                 roster.add("n" + i + " " + at.get(i) + " "
@@ -36,7 +38,8 @@
                                     : "");
                     s.start();
                 }
-                long before = ticks(all), start = System.nanoTime();
+                long before = ticks(all);
+                long start = System.nanoTime();
                 System.err.println("gossip " + (on ? "on" : "off") + ", " + SECONDS + " s ...");
                 Thread.sleep(SECONDS * 1_000L);
                 double share = (ticks(all) - before) / 100.0 / ((System.nanoTime() - start) / 1e9) / PROCESSES;
--- a/src/test/java/elderseam/scenario/RulesCost.java
+++ b/src/test/java/elderseam/scenario/RulesCost.java
@@ -15,7 +15,9 @@
  * and answer are all that is measured. Run by {@code make figures}.
  */
 public final class RulesCost {
-    private static final int CLIENTS = 8, EACH = 15_000, ROUNDS = 3;
+    private static final int CLIENTS = 8;
+    private static final int EACH = 15_000;
+    private static final int ROUNDS = 3;
     private static final String BODY =
             "{\"lease\": {\"id\": 12, \"unit\": \"4b\"}, \"month\": \"2026-12\", \"amount\": 12000, \"lines\": [{\"text\": \"rent\", \"amount\": 11000}]}";
 
@@ -60,7 +62,8 @@
             s.start();
             long ready = (System.nanoTime() - start) / 1_000_000;
             load(s, EACH / 3);
-            long ticks = s.ticks(), from = System.nanoTime();
+            long ticks = s.ticks();
+            long from = System.nanoTime();
             load(s, EACH);
             double seconds = (System.nanoTime() - from) / 1e9;
             System.out.printf(
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -81,14 +81,18 @@
     private volatile long answered = System.nanoTime();
     private final long diskMb;
     private final AtomicInteger rejectedNotifications = new AtomicInteger();
-    private Process program, older;
+    private Process program;
+    private Process older;
     private String address = "127.0.0.1:0";
     private final Map<Character, CompletableFuture<String>> fronts = new ConcurrentHashMap<>();
     private BlockingQueue<String> said = new LinkedBlockingQueue<>();
-    private String events = "", listen = "127.0.0.1:0";
+    private String events = "";
+    private String listen = "127.0.0.1:0";
     private int nice;
     private boolean operated = true;
-    private String flag = "-Xshare:auto", trap = "", settings;
+    private String flag = "-Xshare:auto";
+    private String trap = "";
+    private String settings;
     private volatile boolean indented;
 
     /**
@@ -97,7 +101,8 @@
      */
     private static final class News {
         private static final int FIRST = 2; // the configuration's list is version 1
-        private final List<String> changes = new ArrayList<>(), tricks = new ArrayList<>();
+        private final List<String> changes = new ArrayList<>();
+        private final List<String> tricks = new ArrayList<>();
 
         synchronized void add(String words) {
             (words.equals("fail") || words.equals("mute") ? tricks : changes).add(words);
@@ -670,12 +675,12 @@
         }
         links.clear();
         program = b.redirectErrorStream(true).start();
-        CompletableFuture<String> serving = new CompletableFuture<>(),
-                eventing = new CompletableFuture<>(),
-                draining = new CompletableFuture<>(),
-                reloaded = new CompletableFuture<>(),
-                kept = new CompletableFuture<>(),
-                operating = new CompletableFuture<>();
+        CompletableFuture<String> serving = new CompletableFuture<>();
+        CompletableFuture<String> eventing = new CompletableFuture<>();
+        CompletableFuture<String> draining = new CompletableFuture<>();
+        CompletableFuture<String> reloaded = new CompletableFuture<>();
+        CompletableFuture<String> kept = new CompletableFuture<>();
+        CompletableFuture<String> operating = new CompletableFuture<>();
         fronts.putAll(Map.of('c', serving, 'e', eventing, 'd', draining, 'r', reloaded, 'k', kept, 'o', operating));
         BufferedReader log = program.inputReader();
         BlockingQueue<String> words = new LinkedBlockingQueue<>();
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -45,7 +45,9 @@
     /** Messages and a wait arrive while the process stands still: whatever it reads first, the wait counts first. */
     @Test
     void aWaitThatArrivesInAPauseIsReadBeforeAnythingIsSent() throws Exception {
-        StringBuilder open = new StringBuilder(), send = new StringBuilder(), taken = new StringBuilder();
+        StringBuilder open = new StringBuilder();
+        StringBuilder send = new StringBuilder();
+        StringBuilder taken = new StringBuilder();
         for (int i = 0; i < 10; i++) { // in which order sockets are read is chance
             open.append("c%1$d send GET /health/ready\nc%1$d expect 200\n".formatted(i));
             send.append("c%1$d send POST /status-update; %2$s X-Txn: b%1$d\n".formatted(i, TO));
@@ -104,7 +106,8 @@
     /** What the earlier process left: 700 messages, in each state a message can be in, half of them due or over. */
     private List<List<String>> left(Path state) throws Exception {
         Clock clock = new Clock();
-        List<String> over = new ArrayList<>(), owed = new ArrayList<>();
+        List<String> over = new ArrayList<>();
+        List<String> owed = new ArrayList<>();
         try (Journal journal = new Journal(state, 3_000_000, clock)) {
             for (int i = 0; i < 700; i++) {
                 String id = "m" + i;
--- a/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
+++ b/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
@@ -19,7 +19,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class EmulatedWorldTest {
-    private static final long MS = 1_000_000, S = 1_000 * MS;
+    private static final long MS = 1_000_000;
+    private static final long S = 1_000 * MS;
     private static final String BASE = """
             [scenario small]
             seconds = 30
@@ -118,9 +119,9 @@
                 + trouble(Scenario.Fault.FAIL)
                         .replace("[trouble t]", "[trouble u]")
                         .replace("bank", "shop");
-        double module = play(day, "module", 1, new RuleCheckers(64)).get("service"),
-                robin = play(day, "robin", 1, new RuleCheckers(64)).get("service"),
-                oracle = play(day, "oracle", 1, new RuleCheckers(64)).get("service");
+        double module = play(day, "module", 1, new RuleCheckers(64)).get("service");
+        double robin = play(day, "robin", 1, new RuleCheckers(64)).get("service");
+        double oracle = play(day, "oracle", 1, new RuleCheckers(64)).get("service");
         assertTrue(module > robin && oracle > robin, "module " + module + ", robin " + robin + ", oracle " + oracle);
     }
 
@@ -154,8 +155,10 @@
 
     @Test
     void refusedCallsCountWhereTheyDo() throws Exception {
-        EmulatedDestination counts = destination("per_s = 10\nrefused_count = on\n"), not = destination("per_s = 10\n");
-        int a = 0, b = 0;
+        EmulatedDestination counts = destination("per_s = 10\nrefused_count = on\n");
+        EmulatedDestination not = destination("per_s = 10\n");
+        int a = 0;
+        int b = 0;
         for (long t = 0; t < 10 * S; t += 10 * MS) {
             a += call(counts, t).status() == Status.DELIVERED ? 1 : 0;
             b += call(not, t).status() == Status.DELIVERED ? 1 : 0;
@@ -209,7 +212,8 @@
     /** Streams of random numbers are apart: a policy that calls more meets the same arrivals. */
     @Test
     void streamsDoNotShiftEachOther() {
-        RandomStreams a = new RandomStreams(1), b = new RandomStreams(1);
+        RandomStreams a = new RandomStreams(1);
+        RandomStreams b = new RandomStreams(1);
         a.of("other").nextLong();
         assertEquals(a.of("arrivals").nextLong(), b.of("arrivals").nextLong());
         assertNotEquals(
--- a/src/test/java/elderseam/testkit/faults/HistoryCheckersTest.java
+++ b/src/test/java/elderseam/testkit/faults/HistoryCheckersTest.java
@@ -95,8 +95,8 @@
 
     @Test
     void oneSeedGivesOneSchedule(@TempDir Path folder) throws Exception {
-        LeaseTestRun.Terms seven = new LeaseTestRun.Terms("leases", 50, 7, null, folder),
-                eight = new LeaseTestRun.Terms("leases", 50, 8, null, folder);
+        LeaseTestRun.Terms seven = new LeaseTestRun.Terms("leases", 50, 7, null, folder);
+        LeaseTestRun.Terms eight = new LeaseTestRun.Terms("leases", 50, 8, null, folder);
         assertEquals(LeaseTestRun.schedule(seven), LeaseTestRun.schedule(seven));
         assertTrue(!LeaseTestRun.schedule(seven).equals(LeaseTestRun.schedule(eight)));
     }
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -115,8 +115,8 @@
         SecureRandom random = new SecureRandom();
         SecretSealer.createKeyFile(folder.resolve("a"), random);
         SecretSealer.createKeyFile(folder.resolve("b"), random);
-        SecretSealer a = SecretSealer.readKeyFile(folder.resolve("a"), random),
-                b = SecretSealer.readKeyFile(folder.resolve("b"), random);
+        SecretSealer a = SecretSealer.readKeyFile(folder.resolve("a"), random);
+        SecretSealer b = SecretSealer.readKeyFile(folder.resolve("b"), random);
         String text = a.seal(new byte[] {1, 2, 3}, "x");
         assertEquals(3, a.open(text, "x").length);
         assertThrows(IOException.class, () -> a.open(text, "y"));
--- a/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
@@ -32,7 +32,8 @@
         feed(c, at, 12_000);
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
-        long delivered = c.outside().delivered(), by = System.nanoTime() + 20_000_000_000L;
+        long delivered = c.outside().delivered();
+        long by = System.nanoTime() + 20_000_000_000L;
         while (c.outside().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
             assertTrue(System.nanoTime() < by, "not delivered again after the outage");
             feed(c, at, 200);
@@ -52,7 +53,8 @@
 
     @Test
     void oneTriesForAll() throws Exception {
-        long each, one;
+        long each;
+        long one;
         try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ProcessCluster.Setup.OFF)) {
             each = callsInAnOutage(c);
         }
--- a/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
+++ b/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
@@ -42,7 +42,8 @@
                 assertEquals(202, c.outside().send(c.member(name).ready(), 1).get(10, TimeUnit.SECONDS));
             }
         }
-        long sum = 0, delivered = by(10);
+        long sum = 0;
+        long delivered = by(10);
         long[] now = c.outside().calls();
         while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum())
                 < (long) messages * living(c).size()) {
@@ -59,7 +60,8 @@
 
     @Test
     void aHerdIsSeenAndSubsetsStayEven() throws Exception {
-        double off, on;
+        double off;
+        double on;
         try (ProcessCluster c = new ProcessCluster(plan(8), folder.resolve("off"), ProcessCluster.Setup.OFF, 4)) {
             off = unevenness(c, 20);
         }
@@ -100,7 +102,8 @@
         LeasedRecoveryProbeTest.feed(c, at, 8_000);
         long calls = c.outside().failed() - before;
         c.outside().fail(false);
-        long delivered = c.outside().delivered(), until = by(20);
+        long delivered = c.outside().delivered();
+        long until = by(20);
         while (c.outside().delivered() < delivered + 40) { // more than one member could deliver in the time alone
             assertTrue(System.nanoTime() < until, "not delivered again after the outage");
             LeasedRecoveryProbeTest.feed(c, at, 200);
@@ -111,7 +114,8 @@
     /** The trial by turns needs datagrams alone; while links lose a third of them it is still no more than each for itself. */
     @Test
     void oneTriesByTurns() throws Exception {
-        long each, one;
+        long each;
+        long one;
         try (ProcessCluster c =
                 new ProcessCluster(plan(4), folder.resolve("off"), ProcessCluster.Setup.gossiping(""))) {
             each = callsInAnOutage(c);
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -125,8 +125,8 @@
                     "[limit few]\nrate_per_s = " + RATE
                             + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
             Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
-            String one = VersionProposals.propose(c, "n1", few, "one"),
-                    two = VersionProposals.propose(c, "n2", VersionTestRun.write(c, 7), "two");
+            String one = VersionProposals.propose(c, "n1", few, "one");
+            String two = VersionProposals.propose(c, "n2", VersionTestRun.write(c, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
             String won = VersionProposals.agreed(c, by(30));
             while (won.equals(ConfigurationVersion.NONE.shortHash())) {
--- a/src/test/java/elderseam/testkit/lab/LabTest.java
+++ b/src/test/java/elderseam/testkit/lab/LabTest.java
@@ -92,13 +92,16 @@
     @Test
     void differencesAndNoise() {
         Random r = new Random(1);
-        double[] a = new double[30], same = new double[30], more = new double[30];
+        double[] a = new double[30];
+        double[] same = new double[30];
+        double[] more = new double[30];
         for (int i = 0; i < a.length; i++) {
             a[i] = r.nextDouble();
             same[i] = a[i] + 0.1 * r.nextGaussian();
             more[i] = a[i] + 0.1 + 0.1 * r.nextGaussian();
         }
-        PairedComparison none = PairedComparison.of(a, same), some = PairedComparison.of(a, more);
+        PairedComparison none = PairedComparison.of(a, same);
+        PairedComparison some = PairedComparison.of(a, more);
         assertTrue(none.noise() && none.low() < 0 && none.high() > 0, none.words());
         assertTrue(
                 !some.noise()
@@ -117,7 +120,8 @@
         Random r = new Random(2);
         int missed = 0;
         for (int n = 0; n < 200; n++) {
-            double[] a = r.doubles(25).toArray(), b = r.doubles(25).toArray();
+            double[] a = r.doubles(25).toArray();
+            double[] b = r.doubles(25).toArray();
             missed += PairedComparison.of(a, b).noise() ? 0 : 1;
         }
         assertTrue(missed >= 3 && missed <= 24, missed + " of 200");
@@ -132,8 +136,8 @@
         Scenario plan = ScenarioFile.of("found", f.scenario(), Map.of());
         assertTrue(
                 plan.troubles().size() + plan.floods().size() + plan.restarts().size() > 0);
-        double robin = ExperimentRun.of(plan, "robin", 1, s -> {}).figures().get("service"),
-                oracle = ExperimentRun.of(plan, "oracle", 1, s -> {}).figures().get("service");
+        double robin = ExperimentRun.of(plan, "robin", 1, s -> {}).figures().get("service");
+        double oracle = ExperimentRun.of(plan, "oracle", 1, s -> {}).figures().get("service");
         assertEquals(f.gap(), oracle - robin, 1e-9);
         assertEquals(
                 f.scenario(),
