--- a/src/main/java/elderseam/gossip/HealthEstimator.java
+++ b/src/main/java/elderseam/gossip/HealthEstimator.java
@@ -20,9 +20,9 @@
 
     private static final double CONTRADICTED_FACTOR = 0.5;
     private static final double REGAIN_TIME_CONSTANT_NS = 600e9;
-    /** Own calls contradict an open report if at least this share of them was delivered, */
+    /** The share of own calls that must have been delivered for them to contradict an open report. */
     private static final double CONTRADICTING_DELIVERED_SHARE = 0.8;
-    /** and if there were at least so many within {@link HealthReport#WINDOW_MS}. */
+    /** How many own calls within {@link HealthReport#WINDOW_MS} it takes to contradict an open report. */
     private static final int MIN_CONTRADICTING_CALLS = 5;
 
     private static final double FULL_SUSPICION_SUM = 4;
