--- a/src/test/java/elderseam/gossip/MembershipTableModelTest.java
+++ b/src/test/java/elderseam/gossip/MembershipTableModelTest.java
@@ -65,7 +65,7 @@
               u in Net.says and some u.(Subject.own.refute) and Subject.own' = u.(Subject.own.refute) and holds' = holds
               Net.says' = Net.says + Subject.own'
             }
-            fact steps {
+            fact transitions {
               start
               always (still or (some n : Node | probeFails[n] or timeOut[n] or some u : Belief | deliver[n, u]) or some u : Belief | subjectHears[u])
             }
