--- a/src/test/java/elderseam/policy/RequestSchedulerTest.java
+++ b/src/test/java/elderseam/policy/RequestSchedulerTest.java
@@ -35,8 +35,9 @@
         PendingRequest first = parts.waiting(2, 5, 1);
         parts.waiting(2, 5, 9);
         assertEquals(List.of("send r0 a:1"), startAttempts(NOW));
-        first.keyQueue.inFlight--;
         parts.context.requests.finish(first);
+        assertEquals(List.of("send r0 a:1"), startAttempts(NOW), "the client has withdrawn, but a call is in flight");
+        first.keyQueue.inFlight--;
         first.keyQueue.rest(NOW + S);
         assertEquals(List.of("send r0 a:1"), startAttempts(NOW + S - 1));
         assertEquals(NOW + S, parts.context.nextDecisionAt);
