--- a/src/main/java/elderseam/policy/AnswerLoss.java
+++ b/src/main/java/elderseam/policy/AnswerLoss.java
@@ -1,6 +1,6 @@
 package elderseam.policy;
 
-/** Counts the answers that come and those that are lost, over all destinations, in a rolling window. Not thread-safe. */
+/** Counts, over all destinations, the answers that came and those that were lost. Not thread-safe. */
 final class AnswerLoss {
     private final RollingWindow window = new RollingWindow();
     /** Whether answers are getting lost at present, as of the last turn. */
