--- a/bench/src/elderseam/rules/cel/ExpressionBench.java
+++ b/bench/src/elderseam/rules/cel/ExpressionBench.java
@@ -48,23 +48,15 @@
     @Param({"when", "key"})
     public String what;
 
-    private final Map<String, Object> values = Map.of(
-            "tenant",
-            "erongo",
-            "headers",
-            Map.of("x-kind", "rent-invoice"),
-            "destination",
-            17L,
-            "size",
-            300L,
-            "rate",
-            10.0,
-            "share",
-            2.0,
-            "lease",
-            "L-2041",
-            "month",
-            "2026-12");
+    private final Map<String, Object> values = Map.ofEntries(
+            Map.entry("tenant", "erongo"),
+            Map.entry("headers", Map.of("x-kind", "rent-invoice")),
+            Map.entry("destination", 17L),
+            Map.entry("size", 300L),
+            Map.entry("rate", 10.0),
+            Map.entry("share", 2.0),
+            Map.entry("lease", "L-2041"),
+            Map.entry("month", "2026-12"));
     private Expression expression;
     private Program program;
     private EvaluationInputs inputs;
--- a/src/main/java/elderseam/rules/cel/ConstantArguments.java
+++ b/src/main/java/elderseam/rules/cel/ConstantArguments.java
@@ -41,7 +41,7 @@
             TimeFunctions.timestamp(literal);
         } else if (call.is("duration") && TimeFunctions.duration(literal).isEmpty()) {
             return Optional.of("no duration, expected such as \"1h30m\"");
-        } else if (TimeFunctions.isAccessor(call.function()) && call.arguments().size() == 2) {
+        } else if (Functions.isTimeAccessor(call.function()) && call.arguments().size() == 2) {
             ZoneId.of(literal);
         }
         return Optional.empty();
--- a/src/main/java/elderseam/rules/cel/CostModel.java
+++ b/src/main/java/elderseam/rules/cel/CostModel.java
@@ -42,7 +42,7 @@
             case "size" -> first.textScanCost();
             case "string", "int", "uint", "double", "bytes", "bool", "timestamp", "duration" ->
                 add(CONVERSION_COST, first.textScanCost());
-            default -> TimeFunctions.isAccessor(function) ? TIME_ACCESSOR_COST : 1;
+            default -> Functions.isTimeAccessor(function) ? TIME_ACCESSOR_COST : 1;
         };
     }
 
--- a/src/main/java/elderseam/rules/cel/Functions.java
+++ b/src/main/java/elderseam/rules/cel/Functions.java
@@ -12,8 +12,16 @@
     /** The function whose pattern is a literal, compiled once; its callers match instead of calling here. */
     static final String MATCHES = "matches";
 
+    /** What the names of all functions begin with that give a part of a timestamp or a duration. */
+    private static final String TIME_ACCESSOR_PREFIX = "get";
+
     private Functions() {}
 
+    /** Whether a function gives a part of a timestamp or a duration. */
+    static boolean isTimeAccessor(String function) {
+        return function.startsWith(TIME_ACCESSOR_PREFIX);
+    }
+
     /** A pattern for {@link #MATCHES}, matched in linear time (RE2). */
     static Pattern pattern(String text) {
         return Pattern.compile(text);
@@ -38,7 +46,7 @@
             case "startsWith", "endsWith", "contains" -> testText(function, first, arguments[1]);
             case "dyn" -> first;
             default ->
-                TimeFunctions.isAccessor(function)
+                isTimeAccessor(function)
                         ? TimeFunctions.access(function, arguments)
                         : Conversions.convert(function, first);
         };
--- a/src/main/java/elderseam/rules/cel/Planner.java
+++ b/src/main/java/elderseam/rules/cel/Planner.java
@@ -9,6 +9,7 @@
 import com.google.re2j.Pattern;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Compiles a checked tree to a {@link Program}. Where the types of operands are known, their steps are made for those types; all other
@@ -105,8 +106,8 @@
                 && !comprehension.macro().givesList()) {
             return new ComprehensionEvaluator(this, comprehension);
         }
-        BoolStep step = node instanceof Ast.Call call ? planBoolCall(call) : null;
-        return step != null ? step : unboxedBool(planBoxed(node));
+        Optional<BoolStep> step = node instanceof Ast.Call call ? planBoolCall(call) : Optional.empty();
+        return step.orElseGet(() -> unboxedBool(planBoxed(node)));
     }
 
     private static BoolStep unboxedBool(ValueStep step) {
@@ -118,27 +119,28 @@
         return value == null && inputs.error != null ? inputs.error : value;
     }
 
-    /** A step made for the types of a call's arguments; null if there is none for them. */
-    private BoolStep planBoolCall(Ast.Call call) {
+    /** A step made for the types of a call's arguments, if there is one for them. */
+    private Optional<BoolStep> planBoolCall(Ast.Call call) {
         return switch (call.function()) {
-            case Operators.LOGICAL_AND -> LogicalSteps.logical(boolArgument(call, 0), boolArgument(call, 1), false);
-            case Operators.LOGICAL_OR -> LogicalSteps.logical(boolArgument(call, 0), boolArgument(call, 1), true);
-            case Operators.LOGICAL_NOT -> LogicalSteps.not(boolArgument(call, 0));
+            case Operators.LOGICAL_AND ->
+                Optional.of(LogicalSteps.logical(boolArgument(call, 0), boolArgument(call, 1), false));
+            case Operators.LOGICAL_OR ->
+                Optional.of(LogicalSteps.logical(boolArgument(call, 0), boolArgument(call, 1), true));
+            case Operators.LOGICAL_NOT -> Optional.of(LogicalSteps.not(boolArgument(call, 0)));
             case Operators.CONDITIONAL ->
-                LogicalSteps.conditionalBool(boolArgument(call, 0), boolArgument(call, 1), boolArgument(call, 2));
+                Optional.of(LogicalSteps.conditionalBool(
+                        boolArgument(call, 0), boolArgument(call, 1), boolArgument(call, 2)));
             case Operators.EQUALS,
                     Operators.NOT_EQUALS,
                     Operators.LESS,
                     Operators.LESS_EQUALS,
                     Operators.GREATER,
                     Operators.GREATER_EQUALS -> planComparison(call);
-            case "startsWith", "endsWith", "contains" -> hasTwoOperandsOf(call, STRING) ? planTextTest(call) : null;
-            case Functions.MATCHES ->
-                hasType(call.argument(0), STRING)
-                        ? StringSteps.matches(planValue(call.argument(0)), patterns.get(call))
-                        : null;
+            case "startsWith", "endsWith", "contains" ->
+                hasTwoOperandsOf(call, STRING) ? Optional.of(planTextTest(call)) : Optional.empty();
+            case Functions.MATCHES -> planMatches(call);
             case Operators.IN -> planIn(call);
-            default -> null;
+            default -> Optional.empty();
         };
     }
 
@@ -156,31 +158,42 @@
         };
     }
 
-    private BoolStep planIn(Ast.Call call) {
+    private Optional<BoolStep> planMatches(Ast.Call call) {
+        Ast text = call.argument(0);
+        return hasType(text, STRING)
+                ? Optional.of(StringSteps.matches(planValue(text), patterns.get(call)))
+                : Optional.empty();
+    }
+
+    private Optional<BoolStep> planIn(Ast.Call call) {
         Ast item = call.argument(0);
         Ast range = call.argument(1);
         if (!hasType(item, STRING) || !isConstant(range)) {
-            return null;
+            return Optional.empty();
         }
         // a constant that ends in an error does so at each evaluation
-        return fold(range) instanceof List<?> list ? StringSteps.in(planValue(item), list) : null;
+        return fold(range) instanceof List<?> list
+                ? Optional.of(StringSteps.in(planValue(item), list))
+                : Optional.empty();
     }
 
-    private BoolStep planComparison(Ast.Call call) {
+    private Optional<BoolStep> planComparison(Ast.Call call) {
         String operator = call.function();
         Ast left = call.argument(0);
         Ast right = call.argument(1);
         if (hasTwoOperandsOf(call, INT)) {
-            return NumberSteps.compareInts(operator, planInt(left), planInt(right));
+            return Optional.of(NumberSteps.compareInts(operator, planInt(left), planInt(right)));
         }
         if (hasTwoOperandsOf(call, DOUBLE)) {
-            return NumberSteps.compareDoubles(operator, planDouble(left), planDouble(right));
+            return Optional.of(NumberSteps.compareDoubles(operator, planDouble(left), planDouble(right)));
         }
         boolean isEquality = operator.equals(Operators.EQUALS) || operator.equals(Operators.NOT_EQUALS);
         boolean isOfStrings = hasType(left, STRING) || hasType(right, STRING);
-        return isEquality && isOfStrings
-                ? StringSteps.equality(planValue(left), planValue(right), operator.equals(Operators.EQUALS))
-                : null;
+        if (!isEquality || !isOfStrings) {
+            return Optional.empty();
+        }
+        boolean expected = operator.equals(Operators.EQUALS);
+        return Optional.of(StringSteps.equality(planValue(left), planValue(right), expected));
     }
 
     // ---------------------------------------------------------------- numbers
@@ -194,26 +207,27 @@
             int number = number(node);
             return inputs -> inputs.intValue(number);
         }
-        IntStep step = node instanceof Ast.Call call ? planIntCall(call) : null;
-        return step != null ? step : unboxedInt(planBoxed(node));
+        Optional<IntStep> step = node instanceof Ast.Call call ? planIntCall(call) : Optional.empty();
+        return step.orElseGet(() -> unboxedInt(planBoxed(node)));
     }
 
     private static IntStep unboxedInt(ValueStep step) {
         return inputs -> inputs.unbox(valueOrError(inputs, step.evaluate(inputs)), 0L);
     }
 
-    /** A step made for the types of a call's arguments; null if there is none for them. */
-    private IntStep planIntCall(Ast.Call call) {
+    /** A step made for the types of a call's arguments, if there is one for them. */
+    private Optional<IntStep> planIntCall(Ast.Call call) {
         if (call.is(Operators.CONDITIONAL)) {
-            return LogicalSteps.conditionalInt(
-                    planBool(call.argument(0)), planInt(call.argument(1)), planInt(call.argument(2)));
+            return Optional.of(LogicalSteps.conditionalInt(
+                    planBool(call.argument(0)), planInt(call.argument(1)), planInt(call.argument(2))));
         }
         if (hasTwoOperandsOf(call, INT) && Operators.isArithmetic(call.function())) {
             char operator = call.function().charAt(0);
-            return NumberSteps.intArithmetic(operator, planInt(call.argument(0)), planInt(call.argument(1)));
+            return Optional.of(
+                    NumberSteps.intArithmetic(operator, planInt(call.argument(0)), planInt(call.argument(1))));
         }
         boolean isSizeOfString = call.is("size") && hasType(call.argument(0), STRING);
-        return isSizeOfString ? StringSteps.size(planValue(call.argument(0))) : null;
+        return isSizeOfString ? Optional.of(StringSteps.size(planValue(call.argument(0)))) : Optional.empty();
     }
 
     /** A step that gives an unboxed double; it fails for other values. */
@@ -225,25 +239,26 @@
             int number = number(node);
             return inputs -> inputs.doubleValue(number);
         }
-        DoubleStep step = node instanceof Ast.Call call ? planDoubleCall(call) : null;
-        return step != null ? step : unboxedDouble(planBoxed(node));
+        Optional<DoubleStep> step = node instanceof Ast.Call call ? planDoubleCall(call) : Optional.empty();
+        return step.orElseGet(() -> unboxedDouble(planBoxed(node)));
     }
 
     private static DoubleStep unboxedDouble(ValueStep step) {
         return inputs -> inputs.unbox(valueOrError(inputs, step.evaluate(inputs)), 0.0);
     }
 
-    /** A step made for the types of a call's arguments; null if there is none for them. */
-    private DoubleStep planDoubleCall(Ast.Call call) {
+    /** A step made for the types of a call's arguments, if there is one for them. */
+    private Optional<DoubleStep> planDoubleCall(Ast.Call call) {
         if (call.is("double") && hasType(call.argument(0), INT)) {
             IntStep operand = planInt(call.argument(0));
-            return inputs -> operand.evaluate(inputs);
+            return Optional.of(inputs -> operand.evaluate(inputs));
         }
         if (hasTwoOperandsOf(call, DOUBLE) && Operators.isArithmetic(call.function())) {
             char operator = call.function().charAt(0);
-            return NumberSteps.doubleArithmetic(operator, planDouble(call.argument(0)), planDouble(call.argument(1)));
+            return Optional.of(
+                    NumberSteps.doubleArithmetic(operator, planDouble(call.argument(0)), planDouble(call.argument(1))));
         }
-        return null;
+        return Optional.empty();
     }
 
     // ---------------------------------------------------------------- boxed values
@@ -320,7 +335,7 @@
             return StringSteps.concatenate(planValue(call.argument(0)), planValue(call.argument(1)));
         }
         if (call.is(Operators.LOGICAL_AND) || call.is(Operators.LOGICAL_OR)) {
-            return LogicalSteps.boxed(planBoolCall(call));
+            return LogicalSteps.boxed(planBool(call));
         }
         return CollectionSteps.call(call.function(), planValues(call.arguments()), patterns.get(call));
     }
--- a/src/main/java/elderseam/rules/cel/TimeFunctions.java
+++ b/src/main/java/elderseam/rules/cel/TimeFunctions.java
@@ -15,27 +15,17 @@
 
 /** Reading, ranges and parts of timestamps and durations, by the CEL specification's "Timestamps" and "Durations". */
 final class TimeFunctions {
-    /** What the names of all functions begin with that give a part of a timestamp or a duration. */
-    private static final String ACCESSOR_PREFIX = "get";
-
     private static final Pattern DURATION =
             Pattern.compile("[-+]?((\\d{1,18}(\\.\\d{0,9})?|\\.\\d{1,9})(h|ms|us|µs|ns|m|s))+");
     private static final Pattern DURATION_PART = Pattern.compile("(\\d*(?:\\.\\d*)?)(h|ms|us|µs|ns|m|s)");
-    private static final Map<String, Long> UNIT_NANOS = Map.of(
-            "h",
-            3_600_000_000_000L,
-            "m",
-            60_000_000_000L,
-            "s",
-            1_000_000_000L,
-            "ms",
-            1_000_000L,
-            "us",
-            1_000L,
-            "µs",
-            1_000L,
-            "ns",
-            1L);
+    private static final Map<String, Long> UNIT_NANOS = Map.ofEntries(
+            Map.entry("h", 3_600_000_000_000L),
+            Map.entry("m", 60_000_000_000L),
+            Map.entry("s", 1_000_000_000L),
+            Map.entry("ms", 1_000_000L),
+            Map.entry("us", 1_000L),
+            Map.entry("µs", 1_000L),
+            Map.entry("ns", 1L));
     private static final BigInteger NANOS_PER_SECOND = BigInteger.valueOf(1_000_000_000);
     private static final long NANOS_PER_MILLISECOND = 1_000_000;
     /** Some 10,000 years. */
@@ -83,11 +73,6 @@
         return Optional.of(Duration.ofSeconds(secondsAndNanos[0].longValue(), secondsAndNanos[1].longValue()));
     }
 
-    /** Whether a function gives a part of a timestamp or a duration. */
-    static boolean isAccessor(String function) {
-        return function.startsWith(ACCESSOR_PREFIX);
-    }
-
     /** A part of a duration, or of a timestamp in the time zone of the second argument, by default UTC. */
     static Object access(String function, Object[] arguments) {
         boolean hasZone = arguments.length == 2;
--- a/src/test/java/elderseam/rules/cel/ExpressionTest.java
+++ b/src/test/java/elderseam/rules/cel/ExpressionTest.java
@@ -28,25 +28,16 @@
             .name("l", new Type.ListType(Type.Plain.INT), ValueSize.list(16, ValueSize.ONE))
             .name("x", Type.Plain.DYN, ValueSize.text(64))
             .name("gone", Type.Plain.BOOL, ValueSize.ONE);
-    private static final Map<String, Object> VALUES = Map.of(
-            "i",
-            7L,
-            "u",
-            new UnsignedLong(3),
-            "d",
-            2.5,
-            "b",
-            true,
-            "s",
-            "rent",
-            "t",
-            Instant.parse("2026-12-31T23:30:00.250Z"),
-            "h",
-            Map.of("org", "erongo", "month", "12"),
-            "l",
-            List.of(1L, 2L, 3L),
-            "x",
-            "any");
+    private static final Map<String, Object> VALUES = Map.ofEntries(
+            Map.entry("i", 7L),
+            Map.entry("u", new UnsignedLong(3)),
+            Map.entry("d", 2.5),
+            Map.entry("b", true),
+            Map.entry("s", "rent"),
+            Map.entry("t", Instant.parse("2026-12-31T23:30:00.250Z")),
+            Map.entry("h", Map.of("org", "erongo", "month", "12")),
+            Map.entry("l", List.of(1L, 2L, 3L)),
+            Map.entry("x", "any"));
 
     private static final long BUDGET = 1_000_000;
 
