--- a/src/main/java/elderseam/rules/RuleAction.java
+++ b/src/main/java/elderseam/rules/RuleAction.java
@@ -5,13 +5,12 @@
 /**
  * One result of a rule, such as the class that it gives a message. A rule evaluates all its actions before it applies
  * any of them, so that an error leaves the message as it was. An action keeps its value from the one step to the other,
- * without allocating; confined to the thread that evaluates rules. A class and no interface, since the serving process
- * runs on the first compiler tier, where a call of an interface with many implementations costs more.
+ * without allocating; confined to the thread that evaluates rules.
  */
-abstract class RuleAction {
+interface RuleAction {
     /** Evaluates and keeps the value; returns what went wrong, or null. */
-    abstract EvaluationError evaluate(RuleInput input);
+    EvaluationError evaluate(RuleInput input);
 
     /** Sets the value that was evaluated last. */
-    abstract void apply(RuleResult result);
+    void apply(RuleResult result);
 }
--- a/src/main/java/elderseam/rules/RuleActions.java
+++ b/src/main/java/elderseam/rules/RuleActions.java
@@ -32,7 +32,7 @@
     }
 
     /** The class, by name. */
-    static final class SetClass extends RuleAction {
+    static final class SetClass implements RuleAction {
         private final Program name;
         private final List<String> classes;
         private int classIndex;
@@ -43,7 +43,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             classIndex = KnownNames.find(classes, name.value(input));
             if (input.error() != null) {
                 return input.error();
@@ -52,13 +52,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.classIndex = classIndex;
         }
     }
 
     /** The tenant, by name. */
-    static final class SetTenant extends RuleAction {
+    static final class SetTenant implements RuleAction {
         private final Program name;
         private final List<String> tenants;
         private int tenantIndex;
@@ -69,7 +69,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             tenantIndex = KnownNames.find(tenants, name.value(input));
             if (input.error() != null) {
                 return input.error();
@@ -78,13 +78,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.tenantIndex = tenantIndex;
         }
     }
 
     /** The destination, by number. */
-    static final class SetDestination extends RuleAction {
+    static final class SetDestination implements RuleAction {
         private final Program number;
         private long destination;
 
@@ -93,7 +93,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             destination = number.whole(input);
             if (input.error() != null) {
                 return input.error();
@@ -102,13 +102,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.destination = destination;
         }
     }
 
     /** The destination, by a route. */
-    static final class FollowRoute extends RuleAction {
+    static final class FollowRoute implements RuleAction {
         private final Route route;
         private final String subset;
         private final Program routeKey;
@@ -122,7 +122,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             if (!(routeKey.value(input) instanceof String key)) {
                 return input.error() != null ? input.error() : new EvaluationError("a route's key that is no string");
             }
@@ -136,13 +136,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.destination = destination;
         }
     }
 
     /** The idempotency key. */
-    static final class SetKey extends RuleAction {
+    static final class SetKey implements RuleAction {
         private static final int MAX_KEY_CHARS = 512;
 
         private final Program keyProgram;
@@ -153,7 +153,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             key = keyProgram.value(input) instanceof String text ? text : "";
             if (input.error() != null) {
                 return input.error();
@@ -165,13 +165,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.key = key;
         }
     }
 
     /** A shorter deadline, from now on. */
-    static final class ShortenDeadline extends RuleAction {
+    static final class ShortenDeadline implements RuleAction {
         private final Program duration;
         private long deadlineNs;
 
@@ -180,7 +180,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             deadlineNs = toNanos(duration.value(input));
             if (input.error() != null) {
                 return input.error();
@@ -189,13 +189,13 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.deadlineNs = Math.min(result.deadlineNs, deadlineNs);
         }
     }
 
     /** Rejection, with a Retry-After. */
-    static final class Reject extends RuleAction {
+    static final class Reject implements RuleAction {
         private final Program retryAfter;
         private long retryAfterNs;
 
@@ -204,7 +204,7 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             retryAfterNs = toNanos(retryAfter.value(input));
             if (input.error() != null) {
                 return input.error();
@@ -213,32 +213,26 @@
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.retryAfterNs = retryAfterNs;
         }
     }
 
     /** The priority, a constant. */
-    static final class SetPriority extends RuleAction {
-        private final int priority;
-
-        SetPriority(int priority) {
-            this.priority = priority;
-        }
-
+    record SetPriority(int priority) implements RuleAction {
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             return null;
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.priority = priority;
         }
     }
 
     /** A rate limit that the message falls under. */
-    static final class ChargeLimit extends RuleAction {
+    static final class ChargeLimit implements RuleAction {
         private final KeyedRateLimiter limiter;
         private final Program limitKey;
         private String key;
@@ -249,13 +243,13 @@
         }
 
         @Override
-        EvaluationError evaluate(RuleInput input) {
+        public EvaluationError evaluate(RuleInput input) {
             key = limitKey.value(input) instanceof String text ? text : "";
             return input.error();
         }
 
         @Override
-        void apply(RuleResult result) {
+        public void apply(RuleResult result) {
             result.charges.add(new RuleResult.Charge(limiter, key));
         }
     }
