--- a/src/main/java/elderseam/http/ClientConnection.java
+++ b/src/main/java/elderseam/http/ClientConnection.java
@@ -165,7 +165,10 @@
         return state == State.LINGERING;
     }
 
-    /** Whether it must not stay in its state any longer. With half a head on a kept connection, Undertow bounds the time. */
+    /**
+     * Whether it must not stay in its state any longer. With half a head on a kept connection, Undertow bounds the
+     * time.
+     */
     boolean isOverdue(long now, boolean crowded) {
         if (state != State.IDLE) {
             return now >= deadline;
--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -80,7 +80,10 @@
         close();
     }
 
-    /** Whether nothing arrived unrequested: neither the end of the stream nor what would look like the next response. */
+    /**
+     * Whether nothing arrived unrequested: neither the end of the stream nor what would look like the next
+     * response.
+     */
     boolean isSilent() {
         return read() == 0;
     }
--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -8,10 +8,10 @@
 import java.util.regex.Pattern;
 
 /**
- * An incremental parser of one HTTP/1.x response (RFC 9112), bounded and strict: whatever doesn't fit makes the response
- * malformed, but the code of a status line that was read is kept. Interim responses (1xx) are skipped. Undertow's own
- * parser has no bound for a head, takes any 1xx for the response, and doesn't report the rest of a status line. Confined
- * to the I/O thread.
+ * An incremental parser of one HTTP/1.x response (RFC 9112), bounded and strict: whatever doesn't fit makes the
+ * response malformed, but the code of a status line that was read is kept. Interim responses (1xx) are skipped.
+ * Undertow's own parser has no bound for a head, takes any 1xx for the response, and doesn't report the rest of a
+ * status line. Confined to the I/O thread.
  */
 final class HttpResponseReader {
     private static final int MAX_HEAD_BYTES = 16 << 10; // with the lines around the chunks and the trailers
--- a/src/main/java/elderseam/http/RequestHeadValidator.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -55,7 +55,10 @@
         return malformed;
     }
 
-    /** Passes nothing on from now on: reads return 0 while more may come, and the end of the stream after it or the bound. */
+    /**
+     * Passes nothing on from now on: reads return 0 while more may come, and the end of the stream after it or the
+     * bound.
+     */
     void discardInput() {
         discarding = true;
     }
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -24,7 +24,10 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 
-/** How client connections end: in order, with nothing left unread, and none without a response that a client waits for. */
+/**
+ * How client connections end: in order, with nothing left unread, and none without a response that a client waits
+ * for.
+ */
 class ConnectionCloseTest {
     private static final String GET = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final String GET_ANSWERED_LATER = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -148,7 +151,10 @@
         runOnIoThread(() -> {});
     }
 
-    /** More than one read of Undertow's own close: all that a client still sends is read, so that the end is no reset. */
+    /**
+     * More than one read of Undertow's own close: all that a client still sends is read, so that the end is no
+     * reset.
+     */
     @Test
     void anIdleConnectionEndsInOrderThoughMuchCrosses() throws Exception {
         Socket client = connectIdle();
@@ -226,7 +232,10 @@
                 "all of it was read");
     }
 
-    /** At the bound an idle connection makes room and ends in order; where all are busy, the new one gets a response. */
+    /**
+     * At the bound an idle connection makes room and ends in order; where all are busy, the new one gets a
+     * response.
+     */
     @Test
     void noNewConnectionEndsWithoutAResponse() throws Exception {
         Socket idle = connectIdle();
