Tests: a fault test waits for the named member's doubt, and for each delivery

Change: after the log line the test waits, within the same 10 s, until n1 itself is in doubt; each message accepted must also be delivered within its 3.5 s before the next is sent. Both ask for more than before.

--- a/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.ResourceLock;
@@ -13,11 +15,13 @@
 /** The hard cases of a lease, each on three real processes of the program with a fault proxy between them. */
 @ResourceLock("rig one") // each class starts some processes: two classes at a time
 class LeaseFaultCasesTest {
+    private static final long MESSAGE_DEADLINE_NS = 3_500_000_000L; // what each message is sent with
+
     @TempDir
     Path folder;
 
     private static FaultSchedule plan(long roundMs, String... faults) {
-        List<FaultInjection> all = new java.util.ArrayList<>();
+        List<FaultInjection> all = new ArrayList<>();
         for (String f : faults) {
             all.add(FaultInjection.parse(
                     Long.parseLong(f.substring(0, f.indexOf(' '))), f.substring(f.indexOf(' ') + 1)));
@@ -78,6 +82,18 @@
         assertTrue(figure(r, "takeovers") == 1 && figure(r, "takeover_ms_p50") < 4_000, r.figures()::toString);
     }
 
+    /** Sends a message and waits until the partner has it, so that the quota of messages held is never reached. */
+    private static void sendAndAwaitDelivery(ProcessCluster cluster, String member) throws Exception {
+        long deliveredBefore = cluster.outside().delivered();
+        int code = cluster.outside().send(cluster.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
+        assertEquals(202, code);
+        long deadline = System.nanoTime() + MESSAGE_DEADLINE_NS;
+        while (cluster.outside().delivered() == deliveredBefore) {
+            assertTrue(System.nanoTime() < deadline, "accepted, but not delivered before its deadline");
+            ProcessCluster.pause(1);
+        }
+    }
+
     /** No lease without a majority; messages are served all the same. */
     @Test
     void withoutAMajorityNothingIsGrantedAndMessagesAreServed() throws Exception {
@@ -89,9 +105,7 @@
             long granted = HistoryCheckers.read(c.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
-                assertEquals(
-                        202,
-                        c.outside().send(c.member("n1").ready(), 1).get(10, java.util.concurrent.TimeUnit.SECONDS));
+                sendAndAwaitDelivery(c, "n1");
             }
             assertEquals(
                     granted,
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -75,6 +75,14 @@
         }
     }
 
+    /** Waits for this member's own doubt: another one may be in doubt for a moment, where the machine is busy. */
+    private static void awaitDoubt(ProcessCluster cluster, String member, long untilNs) throws Exception {
+        while (!value(cluster, member, "doubt").equals("yes")) {
+            assertTrue(System.nanoTime() < untilNs, member + " is not in doubt");
+            ProcessCluster.pause(20);
+        }
+    }
+
     /** The side that is cut off refuses new work from T on, and the others act on the newer version; afterwards all do. */
     @Test
     void theSideThatIsCutOffGoesIntoDoubtAndARestartFromAnOldFolderDoesNotActOnIt() throws Exception {
@@ -83,6 +91,7 @@
             assertEquals(202, send(c, "n1"));
             c.befall(FaultInjection.parse(0, "isolate n1"));
             assertTrue(c.say("versions: ", "in doubt, new work is refused", 1, by(10)));
+            awaitDoubt(c, "n1", by(10));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
             assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.write(c, 1), "without n1")
                     .isEmpty());
