--- a/src/main/java/elderseam/core/InMemoryJournalStore.java
+++ b/src/main/java/elderseam/core/InMemoryJournalStore.java
@@ -5,7 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A journal's bytes in memory, for a process that is emulated or thrown away; they outlast {@link #close}. Not thread-safe. */
+/**
+ * A journal's bytes in memory, for a process that is emulated or thrown away; they outlast {@link #close}. Not
+ * thread-safe.
+ */
 public class InMemoryJournalStore implements JournalStore {
     private static final int INITIAL_BYTES = 1 << 12;
 
