--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -173,12 +173,12 @@
     }
 
     @Override
-    public Ruling rule(ActiveRequest.Message message, RequestAttributes facts) {
+    public Ruling rule(ActiveRequest.Message message, RequestAttributes attributes) {
         if (message.destination() == RequestDispatcher.NO_DESTINATION) { // sent by StartupWarmup
             return new Admitted(message, List.of());
         }
         long nowNs = io.clock.now();
-        RuleEngine.Decision decision = engine.decide(message, facts, nowNs, io.clock.toWall(nowNs));
+        RuleEngine.Decision decision = engine.decide(message, attributes, nowNs, io.clock.toWall(nowNs));
         if (decision instanceof RuleEngine.Incomplete incomplete) {
             return new Invalid(message, incomplete.reason());
         }
