--- a/src/main/java/elderseam/logging/EventLogger.java
+++ b/src/main/java/elderseam/logging/EventLogger.java
@@ -8,18 +8,6 @@
  * returns. Thread-safe. For what happens seldom, not for each request.
  */
 public final class EventLogger {
-    private static final String PROVIDER_PROPERTY = "slf4j.provider";
-    private static final String PROVIDER = "org.slf4j.simple.SimpleServiceProvider";
-
-    /** SLF4J announces a provider that is named at INFO. */
-    private static final String INTERNAL_VERBOSITY_PROPERTY = "slf4j.internal.verbosity";
-
-    static {
-        // Without a name SLF4J opens every jar of the class path in search of providers.
-        setDefault(PROVIDER_PROPERTY, PROVIDER);
-        setDefault(INTERNAL_VERBOSITY_PROPERTY, "WARN");
-    }
-
     private final Logger logger;
 
     private EventLogger(Logger logger) {
@@ -31,12 +19,6 @@
         return new EventLogger(LoggerFactory.getLogger(source));
     }
 
-    private static void setDefault(String property, String value) {
-        if (System.getProperty(property) == null) {
-            System.setProperty(property, value);
-        }
-    }
-
     /** Logs what belongs to ordinary operation. */
     public void info(String event, LogField... fields) {
         if (logger.isInfoEnabled()) {
