--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint format run figures bench engines fuzz long
+.PHONY: build test lint format style run figures bench engines fuzz long
 
 build:
 	mvn -q -B -DskipTests package
@@ -14,6 +14,10 @@
 format:
 	mvn -q -B spotless:apply
 
+# Names, doc comments, length of files and methods; config/checkstyle/suppressions.xml names what is not up to it yet.
+style:
+	mvn -q -B checkstyle:check@style
+
 run: build
 	exec $$(sed -n 's/^run = "exec \(.*\)"/\1/p' deploy/balancer.toml)
 
