Gossip and rules hand typed observations to the log

Cause: two events carried a sentence in one field, since gossip and rules handed out text. Change: GossipListener and RuleErrorListener; gossip.started, gossip.member_changed, gossip.member_removed, gossip.counts and rules.evaluation_failed have fields. gossip watch prints the same sentences (PrintingGossipListener). Tests match names and fields.

--- a/src/main/java/elderseam/app/GossipService.java
+++ b/src/main/java/elderseam/app/GossipService.java
@@ -1,7 +1,5 @@
 package elderseam.app;
 
-import static elderseam.logging.LogField.field;
-
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.selftest.FaultTestHistory;
@@ -13,9 +11,9 @@
 import elderseam.gossip.OwnBreaker;
 import elderseam.gossip.security.Roster;
 import elderseam.gossip.transport.GossipConfiguration;
+import elderseam.gossip.transport.GossipListener;
 import elderseam.gossip.transport.GossipTransport;
 import elderseam.http.IoLoop;
-import elderseam.logging.EventLogger;
 import elderseam.policy.BreakerState;
 import elderseam.policy.BreakerView;
 import elderseam.settings.SettingKeys;
@@ -31,7 +29,6 @@
  * suspect. Confined to the I/O thread; not loaded where gossip is off.
  */
 final class GossipService implements PartitionMembers {
-    private static final EventLogger LOG = EventLogger.of(GossipService.class);
 
     private static final Map<BreakerState, HealthReport.State> REPORTED_STATES = Map.of(
             BreakerState.CLOSED, HealthReport.State.CLOSED,
@@ -40,6 +37,7 @@
 
     private static final int INCARNATION_RADIX = 36;
 
+    private final GossipListener eventLog = new GossipEventLog();
     private final IoLoop io;
     private final RequestDispatcher dispatcher;
     private final GossipConfiguration configuration;
@@ -57,8 +55,7 @@
         this.dispatcher = dispatcher;
         this.configuration = GossipConfiguration.read(settings);
         this.appliesAdvice = appliesAdvice(settings);
-        GossipTransport.Callbacks callbacks = new GossipTransport.Callbacks(
-                this::ownReports, this::advise, text -> LOG.info("gossip.status", field("detail", text)));
+        GossipTransport.Callbacks callbacks = new GossipTransport.Callbacks(this::ownReports, this::advise, eventLog);
         this.transport = new GossipTransport(
                 io, configuration.transport(), configuration.keyring(), GossipTimings.DEFAULTS, callbacks);
         if (!settings.get(SettingKeys.REHEARSAL_GOSSIP_LEASE).equals("off")) {
@@ -144,7 +141,7 @@
             transport.setSendLimits(
                     fresh.get(SettingKeys.GOSSIP_MOST_BYTES_PER_S), fresh.get(SettingKeys.GOSSIP_MOST_DATAGRAMS_PER_S));
             transport.setRoster(roster);
-            LOG.info("gossip.counts", field("counts", transport.counts()));
+            eventLog.countsChanged(transport.counts());
         };
     }
 
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -89,7 +89,11 @@
                 policySettings.maxRetryAfterNs(),
                 policySettings.maxHeld(),
                 new DispatcherRuleEnvironment(io.clock, dispatcher, policySettings),
-                text -> LOG.warn("rules.evaluation_failed", field("error", text)));
+                (rule, error, errorCount) -> LOG.warn(
+                        "rules.evaluation_failed",
+                        field("rule", rule),
+                        field("error", error),
+                        field("errors", errorCount)));
         rememberEarlierSchemes(schemeOf(loaded));
         if (!apply(loaded)) {
             throw new IOException("rules: the journal has no room for what their keys stand on");
--- a/src/main/java/elderseam/cli/GossipWatchCommand.java
+++ b/src/main/java/elderseam/cli/GossipWatchCommand.java
@@ -7,6 +7,7 @@
 import elderseam.gossip.MembershipUpdate;
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
+import elderseam.gossip.transport.PrintingGossipListener;
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
 import elderseam.settings.SettingKeys;
@@ -70,7 +71,8 @@
                         configuration.transport(),
                         configuration.keyring(),
                         GossipTimings.DEFAULTS,
-                        new GossipTransport.Callbacks(List::of, (destination, word) -> {}, err()::println));
+                        new GossipTransport.Callbacks(
+                                List::of, (destination, advice) -> {}, new PrintingGossipListener(err()::println)));
                 io.at(clock.now() + seconds * NS_PER_S, () -> {
                     observation.complete(
                             new Observation(transport.members(), transport.allReports(), transport.counts()));
--- a/src/main/java/elderseam/gossip/transport/GossipTransport.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -29,7 +29,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -43,10 +42,10 @@
      *
      * @param ownBreakers this member's own circuit breakers
      * @param advice gets what the others' reports of a destination amount to
-     * @param log gets lines for the operator
+     * @param listener observes what an operator may want to read
      */
     public record Callbacks(
-            Supplier<List<OwnBreaker>> ownBreakers, BiConsumer<Long, Advice> advice, Consumer<String> log) {}
+            Supplier<List<OwnBreaker>> ownBreakers, BiConsumer<Long, Advice> advice, GossipListener listener) {}
 
     private static final long REPORT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(250);
     private static final long COUNTS_INTERVAL_NS = TimeUnit.SECONDS.toNanos(60);
@@ -94,7 +93,7 @@
                 new SplittableRandom(random.nextLong()),
                 this::stateChanged);
         this.nextCountsNs = nowNs + COUNTS_INTERVAL_NS;
-        callbacks.log().accept(self.name() + " at " + self.address());
+        callbacks.listener().started(self.name(), self.address());
         flush();
         updateReports();
     }
@@ -115,7 +114,7 @@
         if (state == MemberState.SUSPECT) {
             suspicions++;
         } else if (loggedStates.put(member, state) != state) {
-            callbacks.log().accept(member + " is " + state);
+            callbacks.listener().memberChanged(member, state);
         }
     }
 
@@ -186,7 +185,7 @@
         String counts = counts();
         if (!counts.equals(loggedCounts)) {
             loggedCounts = counts;
-            callbacks.log().accept(counts);
+            callbacks.listener().countsChanged(counts);
         }
     }
 
@@ -270,7 +269,7 @@
         authenticator.remove(member);
         unopenedBodies.remove(member);
         loggedStates.remove(member);
-        callbacks.log().accept(member + " is off the roster");
+        callbacks.listener().memberRemoved(member);
     }
 
     /** Says good-bye to other members, and closes the sockets. */
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * Applies the rules in force to each new message, and computes its idempotency keys by earlier rules too, while any key
@@ -48,7 +47,7 @@
     private final long maxRetryAfterNs;
     private final int maxHeld;
     private final RuleEnvironment environment;
-    private final Consumer<String> log;
+    private final RuleErrorListener errorListener;
     private final Map<IdempotencyKeyScheme, Rulebook> earlierRules = new LinkedHashMap<>();
     private final RuleResult result = RuleResult.untraced(); // of the message decided last
     private final RuleResult earlierResult = RuleResult.untraced();
@@ -58,19 +57,19 @@
      * @param deadlinesNs the longest deadline of each class, by its index
      * @param maxRetryAfterNs the longest Retry-After of a rejection; 0 for no bound
      * @param maxHeld how many requests the dispatcher may hold
-     * @param log where rules that end in an error are logged, at a bounded rate
+     * @param errorListener gets the rules that end in an error, at a bounded rate
      */
     public RuleEngine(
             List<Long> deadlinesNs,
             long maxRetryAfterNs,
             int maxHeld,
             RuleEnvironment environment,
-            Consumer<String> log) {
+            RuleErrorListener errorListener) {
         this.deadlinesNs = List.copyOf(deadlinesNs);
         this.maxRetryAfterNs = maxRetryAfterNs;
         this.maxHeld = maxHeld;
         this.environment = environment;
-        this.log = log;
+        this.errorListener = errorListener;
     }
 
     /**
@@ -80,7 +79,7 @@
     public void activate(Optional<Rulebook> rules) {
         Rulebook previous = rulebook;
         rulebook = rules.orElse(null);
-        rules.ifPresent(fresh -> fresh.logErrorsTo(log));
+        rules.ifPresent(fresh -> fresh.reportErrorsTo(errorListener));
         Optional<IdempotencyKeyScheme> scheme = rules.flatMap(Rulebook::keyScheme);
         if (previous != null) {
             rules.ifPresent(fresh -> fresh.inherit(previous));
--- a/src/main/java/elderseam/rules/RuleErrorLog.java
+++ b/src/main/java/elderseam/rules/RuleErrorLog.java
@@ -2,7 +2,6 @@
 
 import elderseam.rules.cel.EvaluationError;
 import java.util.IdentityHashMap;
-import java.util.function.Consumer;
 
 /**
  * Logs rules that end in an error, at a bounded rate: each rule at most once in ten seconds, and {@value
@@ -14,16 +13,16 @@
     private static final int MAX_LINES_PER_SECOND = 5;
 
     private final IdentityHashMap<Rule, Long> lastLoggedNs = new IdentityHashMap<>();
-    private Consumer<String> sink = line -> {};
+    private RuleErrorListener listener = (rule, error, errorCount) -> {};
     private long currentSecondNs; // when the current second began
     private long linesThisSecond; // those above the limit included
 
-    /** Writes to this sink from now on; nothing is written before. */
-    void writeTo(Consumer<String> sink) {
-        this.sink = sink;
+    /** Reports to this listener from now on; nothing is reported before. */
+    void reportTo(RuleErrorListener listener) {
+        this.listener = listener;
     }
 
-    /** Logs an error, unless the rate is exceeded. */
+    /** Reports an error, unless the rate is exceeded. */
     void report(Rule rule, EvaluationError error, long nowNs) {
         Long last = lastLoggedNs.get(rule);
         if (last != null && nowNs - last < INTERVAL_PER_RULE_NS) {
@@ -38,8 +37,7 @@
         linesThisSecond++;
         if (linesThisSecond <= MAX_LINES_PER_SECOND) {
             lastLoggedNs.put(rule, nowNs);
-            sink.accept("rules: rule " + rule.name + " ended in an error: " + error.message() + " (" + rule.errorCount()
-                    + " so far)");
+            listener.onError(rule.name, error.message(), rule.errorCount());
         }
     }
 }
--- a/src/main/java/elderseam/rules/Rulebook.java
+++ b/src/main/java/elderseam/rules/Rulebook.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * The rules of one reading of the operator's files: tables of rules, rate limits, and the tenants' request rates. Does
@@ -45,9 +44,9 @@
         this.input = new RuleInput(limits, scope, names, rates);
     }
 
-    /** Logs rules that end in an error to this sink, at a bounded rate; without a sink they are only counted. */
-    void logErrorsTo(Consumer<String> sink) {
-        errorLog.writeTo(sink);
+    /** Reports rules that end in an error, at a bounded rate; without a listener they are only counted. */
+    void reportErrorsTo(RuleErrorListener listener) {
+        errorLog.reportTo(listener);
     }
 
     RuleLimits limits() {
--- a/src/test/java/elderseam/rules/RuleEngineTest.java
+++ b/src/test/java/elderseam/rules/RuleEngineTest.java
@@ -72,7 +72,11 @@
     private final FakeEnvironment environment = new FakeEnvironment();
     private final List<String> log = new ArrayList<>();
     private final RuleEngine engine =
-            new RuleEngine(CLASS_DEADLINES_NS, MAX_RETRY_AFTER_NS, MAX_HELD, environment, log::add);
+            new RuleEngine(CLASS_DEADLINES_NS, MAX_RETRY_AFTER_NS, MAX_HELD, environment, this::logError);
+
+    private void logError(String rule, String error, long errorCount) {
+        log.add(rule + ": " + error + " (" + errorCount + " so far)");
+    }
 
     private Rulebook rulebook(String text) throws IOException {
         Path file = Files.writeString(folder.resolve("a.rules"), text);
--- a/src/test/java/elderseam/scenario/DishonestMember.java
+++ b/src/test/java/elderseam/scenario/DishonestMember.java
@@ -6,6 +6,7 @@
 import elderseam.gossip.OwnBreaker;
 import elderseam.gossip.transport.GossipConfiguration;
 import elderseam.gossip.transport.GossipTransport;
+import elderseam.gossip.transport.PrintingGossipListener;
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
 import elderseam.settings.Settings;
@@ -32,8 +33,8 @@
                                 () -> List.of(
                                         new OwnBreaker(1, HealthReport.State.OPEN, 10_000, 100, 100),
                                         new OwnBreaker(2, HealthReport.State.OPEN, 10_000, 100, 100)),
-                                (destination, word) -> {},
-                                System.err::println));
+                                (destination, advice) -> {},
+                                new PrintingGossipListener(System.err::println)));
             } catch (IOException e) {
                 e.printStackTrace();
                 Runtime.getRuntime().halt(1);
--- a/src/test/java/elderseam/scenario/GossipTest.java
+++ b/src/test/java/elderseam/scenario/GossipTest.java
@@ -34,26 +34,26 @@
                 .redirectErrorStream(true)
                 .redirectOutput(folder.resolve("liar.log").toFile())
                 .start();
-        all(List.of("n1", "n2", "n3", "n4"), "relay expect gossip.status detail=\"liar is ALIVE\"\n");
+        all(List.of("n1", "n2", "n3", "n4"), "relay expect gossip.member_changed member=liar state=ALIVE\n");
         for (int i = 0; i < 8; i++) {
             run("n2", SAY.formatted("", "healthy" + i));
         }
 
         run("n4", "relay close kill");
-        all(List.of("n1", "n2", "n3"), "relay expect gossip.status detail=\"n4 is DEAD\"\n");
+        all(List.of("n1", "n2", "n3"), "relay expect gossip.member_changed member=n4 state=DEAD\n");
         run("n4", "relay wait start");
-        all(List.of("n1", "n2", "n3"), "relay expect gossip.status detail=\"n4 is ALIVE\"\n");
-        run("n4", "relay expect gossip.status detail=\"n1 is ALIVE\"\n");
+        all(List.of("n1", "n2", "n3"), "relay expect gossip.member_changed member=n4 state=ALIVE\n");
+        run("n4", "relay expect gossip.member_changed member=n1 state=ALIVE\n");
 
         run("n3", "relay pause");
-        all(List.of("n1", "n2"), "relay expect gossip.status detail=\"n3 is DEAD\"\n");
+        all(List.of("n1", "n2"), "relay expect gossip.member_changed member=n3 state=DEAD\n");
         run("n3", "relay resume");
-        all(List.of("n1", "n2"), "relay expect gossip.status detail=\"n3 is ALIVE\"\n");
+        all(List.of("n1", "n2"), "relay expect gossip.member_changed member=n3 state=ALIVE\n");
 
         write(List.of("n1", "n2", "n3", "n4"));
-        run("n1", "relay hangup\nrelay wait reload\nrelay expect gossip.status detail=\"liar is off the roster\"\n");
+        run("n1", "relay hangup\nrelay wait reload\nrelay expect gossip.member_removed member=liar\n");
         run("n4", "relay close term\nrelay wait exit 0\n");
-        all(List.of("n1", "n2", "n3"), "relay expect gossip.status detail=\"n4 is LEFT\"\n");
+        all(List.of("n1", "n2", "n3"), "relay expect gossip.member_changed member=n4 state=LEFT\n");
         run("n2", SAY.formatted("x", "still"));
         assertTrue(liar.isAlive(), () -> "the liar ended");
     }
--- a/src/test/java/elderseam/scenario/OverloadTest.java
+++ b/src/test/java/elderseam/scenario/OverloadTest.java
@@ -21,7 +21,7 @@
         roster("n1", "n2");
         start("n1");
         start("n2");
-        all(List.of("n1"), "relay expect gossip.status detail=\"n2 is ALIVE\"\n");
+        all(List.of("n1"), "relay expect gossip.member_changed member=n2 state=ALIVE\n");
         AtomicBoolean over = new AtomicBoolean();
         long[] sent = new long[1];
         Thread flood = new Thread(() -> {
@@ -53,6 +53,6 @@
         assertTrue(sent[0] > 1_000, sent[0] + " datagrams");
         run("n1", "relay hangup\nrelay wait reload\nrelay expect gossip.counts counts= ... form\n");
         run("n2", "relay close kill\n");
-        run("n1", "relay expect gossip.status detail=\"n2 is DEAD\"\n");
+        run("n1", "relay expect gossip.member_changed member=n2 state=DEAD\n");
     }
 }
--- a/src/test/java/elderseam/scenario/RulesTest.java
+++ b/src/test/java/elderseam/scenario/RulesTest.java
@@ -66,7 +66,7 @@
         play("[rule odd]\nwhen = body.n > 1\nrefuse = duration('1s')\n", """
                 c send POST /status-update; {org} X-Txn: a | no json
                 c expect 202
-                relay expect rules.evaluation_failed error="rules: rule odd ended in an error: a body that is no JSON object (1 so far)"
+                relay expect rules.evaluation_failed rule=odd error="a body that is no JSON object" errors=1
                 c send POST /status-update; {org} X-Txn: b | {"n": 2}
                 c expect 503
                 c send POST /status-update; {org} X-Txn: c | {"n": 2, "n": 0}
