--- a/src/test/java/elderseam/acme/SealedBundleCompatTest.java
+++ b/src/test/java/elderseam/acme/SealedBundleCompatTest.java
@@ -4,7 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.FolderContents;
+import elderseam.compat.RecordedResource;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,14 +38,14 @@
     void aSealedBundle() throws IOException {
         SecureRandom random = new FixedRandom();
         SecretSealer.createKeyFile(folder.resolve("made"), random);
-        byte[] key = RecordedBytes.bytes("lease/seal/key", Files.readAllBytes(folder.resolve("made")));
+        byte[] key = RecordedResource.bytesOrRecord("lease/seal/key", Files.readAllBytes(folder.resolve("made")));
         assertArrayEquals(key, Files.readAllBytes(folder.resolve("made")));
         SecretSealer sealer = SecretSealer.readKeyFile(
-                RecordedBytes.copy(RecordedBytes.path("lease/seal"), folder.resolve("copy"))
+                FolderContents.copyForOwner(RecordedResource.path("lease/seal"), folder.resolve("copy"))
                         .resolve("key"),
                 random);
         List<String> written = List.of(new String(BUNDLE.encoded(), UTF_8), sealer.seal(BUNDLE.encoded(), LEASE));
-        List<String> recorded = RecordedBytes.lines("lease/sealed-bundle", written);
+        List<String> recorded = RecordedResource.linesOrRecord("lease/sealed-bundle", written);
         assertEquals(recorded, written);
         assertEquals(BUNDLE, CertificateBundle.decode(recorded.get(0).getBytes(UTF_8)));
         assertEquals(BUNDLE, CertificateBundle.decode(sealer.open(recorded.get(1), LEASE)));
--- a/src/test/java/elderseam/app/CertificateLogCompatTest.java
+++ b/src/test/java/elderseam/app/CertificateLogCompatTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.RecordedResource;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +20,7 @@
     void publishedCertificates() throws IOException {
         List<String> written =
                 List.of(JSON.writeValueAsString(PUBLICATIONS.get(0)), JSON.writeValueAsString(PUBLICATIONS.get(1)));
-        List<String> recorded = RecordedBytes.lines("lease/passed-certificates", written);
+        List<String> recorded = RecordedResource.linesOrRecord("lease/passed-certificates", written);
         assertEquals(recorded, written);
         for (int i = 0; i < PUBLICATIONS.size(); i++) {
             assertEquals(
--- a/src/test/java/elderseam/compat/CommandOutputCompatTest.java
+++ b/src/test/java/elderseam/compat/CommandOutputCompatTest.java
@@ -23,11 +23,11 @@
                         System.getProperty("java.class.path"),
                         CommandReplay.class.getName(),
                         folder.toString())
-                .directory(RecordedText.FOLDER.resolve("cli").toFile())
+                .directory(RecordedResource.folder().resolve("cli").toFile())
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
                 .start();
         String transcript = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, p.waitFor());
-        RecordedText.check("cli/transcript", transcript);
+        RecordedResource.assertText("cli/transcript", transcript);
     }
 }
--- a/src/test/java/elderseam/compat/HandoverFormatTest.java
+++ b/src/test/java/elderseam/compat/HandoverFormatTest.java
@@ -125,11 +125,11 @@
 
     @Test
     void everyFrameIsReadAndWrittenAsBefore() throws Exception {
-        if (Recorded.wanted(FRAMES)) {
-            Recorded.assertRecords(
+        if (RecordedResource.isToBeRecorded(FRAMES)) {
+            RecordedResource.assertHexRecords(
                     FRAMES, frames().stream().map(OlderProcess::sent).toList());
         }
-        List<byte[]> records = Recorded.records(FRAMES);
+        List<byte[]> records = RecordedResource.hexRecords(FRAMES);
         List<HandoverFrame> frames = frames();
         assertEquals(frames.size(), records.size());
         for (int i = 0; i < frames.size(); i++) {
@@ -166,7 +166,7 @@
         Comparator<InFlightAttempt> byId = Comparator.comparing(InFlightAttempt::requestId);
         assertEquals(
                 given.inFlight().stream().sorted(byId).toList(),
-                passedOnAgain(newer(Recorded.bytes(OlderProcess.JOURNAL)), given).inFlight().stream()
+                passedOnAgain(newer(RecordedResource.hexBytes(OlderProcess.JOURNAL)), given).inFlight().stream()
                         .sorted(byId)
                         .toList());
     }
@@ -174,8 +174,8 @@
     @Test
     void anEarlierBuildHandsOver() throws Exception {
         OlderProcess.recordIfWanted();
-        List<byte[]> toNewer = Recorded.records(OlderProcess.TO_NEWER);
-        List<byte[]> toOlder = Recorded.records(OlderProcess.TO_OLDER);
+        List<byte[]> toNewer = RecordedResource.hexRecords(OlderProcess.TO_NEWER);
+        List<byte[]> toOlder = RecordedResource.hexRecords(OlderProcess.TO_OLDER);
         HandoverReceiver receiver = new HandoverReceiver();
         assertEquals(HandoverReceiver.Action.WARM_UP, receiver.onSearched(true, false));
         assertEquals(HandoverReceiver.Action.REQUEST, receiver.onWarmedUp());
@@ -187,7 +187,7 @@
         assertEquals(HandoverReceiver.Action.TAKE_OVER, receiver.onStateReceived(true));
         assertTakesOverAll(given.state());
 
-        CoreProcess newer = newer(Recorded.bytes(OlderProcess.JOURNAL));
+        CoreProcess newer = newer(RecordedResource.hexBytes(OlderProcess.JOURNAL));
         Handover handover = newer.relay.handover();
         handover.takeOver(
                 given.state(), o -> channel.send(new HandoverFrame.AttemptCancellation(o.requestId(), o.attempt())));
--- a/src/test/java/elderseam/compat/OlderProcess.java
+++ b/src/test/java/elderseam/compat/OlderProcess.java
@@ -14,7 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link Recorded}. */
+/** The process that passes its work on, as it was recorded: it runs only where its bytes are to be written, see {@link RecordedResource}. */
 public final class OlderProcess {
     public static final String LEARNED = "learned/file.hex";
     static final String JOURNAL = "handover/journal.hex";
@@ -104,15 +104,15 @@
 
     /** Its journal when it passed its work on, the file of what it had learned, and what travels both ways. */
     public static synchronized void recordIfWanted() throws IOException {
-        if (!Recorded.wanted(LEARNED)) {
+        if (!RecordedResource.isToBeRecorded(LEARNED)) {
             return;
         }
         OlderProcess older = new OlderProcess();
-        Recorded.assertBytes(JOURNAL, CoreProcess.bytes(older.process.store));
-        Recorded.assertBytes(LEARNED, CoreProcess.bytes(older.process.store.aside("learned")));
-        Recorded.assertRecords(
+        RecordedResource.assertHexBytes(JOURNAL, CoreProcess.bytes(older.process.store));
+        RecordedResource.assertHexBytes(LEARNED, CoreProcess.bytes(older.process.store.aside("learned")));
+        RecordedResource.assertHexRecords(
                 TO_NEWER, older.passesOn().stream().map(OlderProcess::sent).toList());
-        Recorded.assertRecords(
+        RecordedResource.assertHexRecords(
                 TO_OLDER,
                 List.of(
                         sent(new HandoverFrame.TransferRequest()),
--- a/src/test/java/elderseam/compat/SettingsCompatTest.java
+++ b/src/test/java/elderseam/compat/SettingsCompatTest.java
@@ -73,7 +73,7 @@
                     .append(form(key))
                     .append('\n');
         }
-        RecordedText.check("settings/keys", table.toString());
+        RecordedResource.assertText("settings/keys", table.toString());
     }
 
     private static String form(SettingKey<?> key) {
@@ -128,7 +128,7 @@
         SettingsMap settings = new SettingsMap(values);
         assertNotNull(settings.settings());
         List<String> faults = SettingsValidator.faults(settings);
-        RecordedText.check(
+        RecordedResource.assertText(
                 "settings/relay_config",
                 "looked up:\n" + String.join("\n", asked) + "\n\nmissing, of the above:\n"
                         + String.join(
--- a/src/test/java/elderseam/compat/WireNamesCompatTest.java
+++ b/src/test/java/elderseam/compat/WireNamesCompatTest.java
@@ -46,6 +46,6 @@
                 .add("type of an expression", Type.Plain.values(), Type::toString)
                 .add("envelope dropped", EnvelopeDropReason.values(), EnvelopeDropReason::wireName)
                 .add("packet dropped", DropReason.values(), DropReason::wireName);
-        RecordedText.check("cli/wire_names", table.toString());
+        RecordedResource.assertText("cli/wire_names", table.toString());
     }
 }
--- a/src/test/java/elderseam/core/StoredFormatTest.java
+++ b/src/test/java/elderseam/core/StoredFormatTest.java
@@ -7,7 +7,7 @@
 import elderseam.compat.CoreProcess;
 import elderseam.compat.ManualClock;
 import elderseam.compat.OlderProcess;
-import elderseam.compat.Recorded;
+import elderseam.compat.RecordedResource;
 import elderseam.handover.OwnershipLock;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -121,7 +121,7 @@
     }
 
     private Journal read(String name) throws IOException {
-        return new Journal(CoreProcess.store(Recorded.bytes(name)), CAP, clock);
+        return new Journal(CoreProcess.store(RecordedResource.hexBytes(name)), CAP, clock);
     }
 
     private static void compact(Journal journal) {
@@ -134,9 +134,9 @@
         InMemoryJournalStore store = new InMemoryJournalStore();
         Journal journal = new Journal(store, CAP, clock);
         write(journal);
-        Recorded.assertRecords(RECORDS, split(CoreProcess.bytes(store)));
+        RecordedResource.assertHexRecords(RECORDS, split(CoreProcess.bytes(store)));
         compact(journal);
-        Recorded.assertRecords(COMPACTED, split(CoreProcess.bytes(store)));
+        RecordedResource.assertHexRecords(COMPACTED, split(CoreProcess.bytes(store)));
     }
 
     @Test
@@ -144,11 +144,11 @@
         write(new Journal(new InMemoryJournalStore(), CAP, clock)); // moves the clock
         Set<Byte> types = new TreeSet<>();
         for (String name : List.of(RECORDS, COMPACTED)) {
-            Recorded.records(name).forEach(r -> types.add(r[JournalRecordFormat.HEADER_BYTES]));
-            Recorded.assertLines("journal/known.txt", known(read(name)));
-            InMemoryJournalStore store = CoreProcess.store(Recorded.bytes(name));
+            RecordedResource.hexRecords(name).forEach(r -> types.add(r[JournalRecordFormat.HEADER_BYTES]));
+            RecordedResource.assertLines("journal/known.txt", known(read(name)));
+            InMemoryJournalStore store = CoreProcess.store(RecordedResource.hexBytes(name));
             compact(new Journal(store, CAP, clock));
-            Recorded.assertRecords(COMPACTED, split(CoreProcess.bytes(store)));
+            RecordedResource.assertHexRecords(COMPACTED, split(CoreProcess.bytes(store)));
         }
         assertEquals("[1, 2, 3, 4, 5, 6, 7, 8, 9, 10]", types.toString());
     }
@@ -177,9 +177,9 @@
         out.time(Long.MIN_VALUE / 2);
         out.flag(true);
         out.text("Österreich");
-        Recorded.assertBytes(VALUES, out.bytes());
+        RecordedResource.assertHexBytes(VALUES, out.bytes());
         clock.pass(3 * S);
-        PolicySnapshotCodec.Reader in = new PolicySnapshotCodec.Reader(Recorded.bytes(VALUES), clock, true);
+        PolicySnapshotCodec.Reader in = new PolicySnapshotCodec.Reader(RecordedResource.hexBytes(VALUES), clock, true);
         assertEquals(3 * S, in.ageNs);
         assertEquals(-7, in.integer(0));
         assertEquals(0.1, in.real(0));
@@ -194,7 +194,7 @@
     @Test
     void whatWasLearnedOutlastsAnUpgradeOfTheProgram() throws IOException {
         OlderProcess.recordIfWanted();
-        byte[] file = Recorded.bytes(OlderProcess.LEARNED);
+        byte[] file = RecordedResource.hexBytes(OlderProcess.LEARNED);
         byte[] kept =
                 new PolicySnapshotStore(CoreProcess.store(file), SHAPE).load().orElseThrow();
         assertTrue(new PolicySnapshotStore(CoreProcess.store(file), SHAPE + 1)
@@ -210,6 +210,6 @@
         CoreProcess next = new CoreProcess(store, new ManualClock(keptAt + 2 * S));
         next.relay.snapshots().restoreAndSave();
         next.pass(S); // it keeps what it has learned, which is that
-        Recorded.assertBytes(AFTER_RESTART, CoreProcess.bytes(store.aside("learned")));
+        RecordedResource.assertHexBytes(AFTER_RESTART, CoreProcess.bytes(store.aside("learned")));
     }
 }
--- a/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionFolderCompatTest.java
@@ -4,7 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.FolderContents;
+import elderseam.compat.RecordedResource;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -36,8 +37,8 @@
     Path folder;
 
     private static Path recorded() throws IOException {
-        Path recorded = RecordedBytes.path(RESOURCE);
-        return RecordedBytes.missing(RESOURCE) ? write(recorded) : recorded;
+        Path recorded = RecordedResource.path(RESOURCE);
+        return RecordedResource.isToBeRecorded(RESOURCE) ? write(recorded) : recorded;
     }
 
     private static Path write(Path at) throws IOException {
@@ -51,7 +52,7 @@
 
     @Test
     void theRecordedFolderIsRead() throws IOException {
-        VersionStore store = new VersionStore(RecordedBytes.copy(recorded(), folder));
+        VersionStore store = new VersionStore(FolderContents.copyForOwner(recorded(), folder));
         assertEquals(FIRST, store.loadActing());
         assertEquals(List.of(FIRST, SECOND), store.loadAll());
         store.retain(List.of(SECOND));
@@ -60,8 +61,8 @@
 
     @Test
     void theSameFolderIsWritten() throws IOException {
-        Map<String, byte[]> recorded = RecordedBytes.files(recorded());
-        Map<String, byte[]> written = RecordedBytes.files(write(folder));
+        Map<String, byte[]> recorded = FolderContents.read(recorded());
+        Map<String, byte[]> written = FolderContents.read(write(folder));
         assertEquals(recorded.keySet(), written.keySet());
         for (Map.Entry<String, byte[]> file : recorded.entrySet()) {
             if (file.getKey().equals("2.json")) { // texts of several names are written in no fixed order
@@ -74,12 +75,12 @@
 
     @Test
     void aProposalIsRead() throws IOException {
-        Path file = RecordedBytes.path("version/proposal/proposal.ini");
-        if (RecordedBytes.missing("version/proposal")) {
-            RecordedBytes.bytes(
+        Path file = RecordedResource.path("version/proposal/proposal.ini");
+        if (RecordedResource.isToBeRecorded("version/proposal")) {
+            RecordedResource.bytesOrRecord(
                     "version/proposal/proposal.ini",
                     SECOND.texts().get(VersionContent.SETTINGS).getBytes(StandardCharsets.UTF_8));
-            RecordedBytes.bytes(
+            RecordedResource.bytesOrRecord(
                     "version/proposal/r.rules", SECOND.texts().get("r.rules").getBytes(StandardCharsets.UTF_8));
         }
         assertEquals(SECOND.texts(), VersionContent.read(file));
--- a/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseLogCompatTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.RecordedResource;
 import elderseam.fleet.config.VersionTable;
 import elderseam.fleet.lease.LeaseTable.Command;
 import elderseam.fleet.lease.LeaseTable.Operation;
@@ -85,7 +85,7 @@
         List<String> written = lines(LEASES.stream()
                 .map(command -> LeaseCodec.encodeCommand(new GroupCommand.OnLeases(command)))
                 .toList());
-        List<String> recorded = RecordedBytes.lines("lease/commands", written);
+        List<String> recorded = RecordedResource.linesOrRecord("lease/commands", written);
         assertEquals(recorded, written);
         for (int i = 0; i < LEASES.size(); i++) {
             assertEquals(new GroupCommand.OnLeases(LEASES.get(i)), LeaseCodec.decodeCommand(bytes(recorded.get(i))));
@@ -99,7 +99,7 @@
         List<Outcome> outcomes = LEASES.stream().map(table::apply).toList();
         List<String> written =
                 lines(outcomes.stream().map(LeaseCodec::encodeOutcome).toList());
-        List<String> recorded = RecordedBytes.lines("lease/outcomes", written);
+        List<String> recorded = RecordedResource.linesOrRecord("lease/outcomes", written);
         assertEquals(recorded, written);
         assertEquals(new Outcome(false, FIRST, 1, 3_010, 2_990), LeaseCodec.decodeLeaseOutcome(bytes(recorded.get(1))));
         for (int i = 0; i < outcomes.size(); i++) {
@@ -112,7 +112,7 @@
         List<String> written = lines(VERSIONS.stream()
                 .map(command -> LeaseCodec.encodeCommand(new GroupCommand.OnVersions(command)))
                 .toList());
-        List<String> recorded = RecordedBytes.lines("version/commands", written);
+        List<String> recorded = RecordedResource.linesOrRecord("version/commands", written);
         for (int i = 0; i < VERSIONS.size(); i++) {
             VersionTable.Command command = VERSIONS.get(i);
             assertEquals(new GroupCommand.OnVersions(command), LeaseCodec.decodeCommand(bytes(recorded.get(i))));
@@ -131,7 +131,7 @@
     void versionOutcomes() throws IOException {
         List<String> written =
                 lines(VERSION_OUTCOMES.stream().map(LeaseCodec::encodeOutcome).toList());
-        List<String> recorded = RecordedBytes.lines("version/outcomes", written);
+        List<String> recorded = RecordedResource.linesOrRecord("version/outcomes", written);
         assertEquals(recorded, written);
         for (int i = 0; i < VERSION_OUTCOMES.size(); i++) {
             assertEquals(VERSION_OUTCOMES.get(i), LeaseCodec.decodeVersionOutcome(bytes(recorded.get(i))));
@@ -143,7 +143,7 @@
     void aSmallSnapshot() throws IOException {
         LeaseCodec.GroupSnapshot snapshot = new LeaseCodec.GroupSnapshot(
                 leases(4).snapshot(), Optional.of(versions(8).snapshot()));
-        byte[] recorded = RecordedBytes.bytes("lease/snapshot", LeaseCodec.encodeSnapshot(snapshot));
+        byte[] recorded = RecordedResource.bytesOrRecord("lease/snapshot", LeaseCodec.encodeSnapshot(snapshot));
         assertArrayEquals(recorded, LeaseCodec.encodeSnapshot(snapshot));
         assertEquals(snapshot, LeaseCodec.decodeSnapshot(recorded));
         assertEquals(2, snapshot.versions().orElseThrow().pending().version().number());
@@ -156,7 +156,7 @@
         versions.apply(VERSIONS.get(8).stamped(1_300));
         LeaseCodec.GroupSnapshot snapshot =
                 new LeaseCodec.GroupSnapshot(leases(LEASES.size()).snapshot(), Optional.of(versions.snapshot()));
-        byte[] recorded = RecordedBytes.bytes("lease/snapshot-larger", LeaseCodec.encodeSnapshot(snapshot));
+        byte[] recorded = RecordedResource.bytesOrRecord("lease/snapshot-larger", LeaseCodec.encodeSnapshot(snapshot));
         assertEquals(JSON.readTree(recorded), JSON.readTree(LeaseCodec.encodeSnapshot(snapshot)));
         LeaseCodec.GroupSnapshot read = LeaseCodec.decodeSnapshot(recorded);
         assertEquals(snapshot, read);
@@ -172,7 +172,8 @@
     @Test
     void aSnapshotWithoutVersions() throws IOException {
         LeaseTable.Snapshot leases = leases(4).snapshot();
-        byte[] recorded = RecordedBytes.bytes("lease/snapshot-without-versions", JSON.writeValueAsBytes(leases));
+        byte[] recorded =
+                RecordedResource.bytesOrRecord("lease/snapshot-without-versions", JSON.writeValueAsBytes(leases));
         LeaseCodec.GroupSnapshot read = LeaseCodec.decodeSnapshot(recorded);
         assertEquals(leases, read.leases());
         assertEquals(Optional.empty(), read.versions());
--- a/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
+++ b/src/test/java/elderseam/fleet/lease/RaftFolderCompatTest.java
@@ -3,7 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.FolderContents;
+import elderseam.compat.RecordedResource;
 import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionTable;
 import java.io.IOException;
@@ -59,11 +60,12 @@
 
     @Test
     void aMemberStartsOnAnEarlierFolder() throws Exception {
-        if (RecordedBytes.missing(RESOURCE)) {
+        if (RecordedResource.isToBeRecorded(RESOURCE)) {
             record(folder.resolve("recorded"));
             published.clear();
         }
-        LeaseGroup member = start(RecordedBytes.copy(RecordedBytes.path(RESOURCE), folder.resolve("copy")), "2");
+        LeaseGroup member =
+                start(FolderContents.copyForOwner(RecordedResource.path(RESOURCE), folder.resolve("copy")), "2");
         try {
             assertEquals("discovery=in the snapshot", published.poll(WAIT_S, TimeUnit.SECONDS));
             assertEquals("certificate:localhost=in the log", published.poll(WAIT_S, TimeUnit.SECONDS));
@@ -89,16 +91,16 @@
             member.submit(VersionTable.Command.propose("a", 0, "why", TEXTS, 1, 1_000, 1_000))
                     .get(WAIT_S, TimeUnit.SECONDS);
             member.submit(VersionTable.Command.checked("a", 1, "")).get(WAIT_S, TimeUnit.SECONDS);
-            while (RecordedBytes.files(at).keySet().stream().noneMatch(f -> f.matches(".*snapshot\\.\\d+_\\d+"))) {
+            while (FolderContents.read(at).keySet().stream().noneMatch(f -> f.matches(".*snapshot\\.\\d+_\\d+"))) {
                 acquire(member, "discovery");
             }
             token = acquire(member, "certificate:localhost");
             member.publish("certificate:localhost", token, "in the log").get(WAIT_S, TimeUnit.SECONDS);
-            RecordedBytes.copy(
+            FolderContents.copyForOwner(
                     at,
-                    RecordedBytes.path(RESOURCE)); // as a crash leaves it: the engine takes a snapshot when it stops
+                    RecordedResource.path(RESOURCE)); // as a crash leaves it: the engine takes a snapshot when it stops
         }
-        Path group = RecordedBytes.path(RESOURCE)
+        Path group = RecordedResource.path(RESOURCE)
                 .resolve(LeaseGroup.raftGroup("compat", Map.of())
                         .getGroupId()
                         .getUuid()
--- a/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
+++ b/src/test/java/elderseam/fleet/partition/PartitionCompatTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.RecordedResource;
 import elderseam.fleet.BreakerState;
 import elderseam.gossip.HealthReport;
 import java.io.IOException;
@@ -29,7 +29,7 @@
             computed.add("bounded " + size + " "
                     + EndpointSubsetting.assign(EndpointSubsetting.Algorithm.BOUNDED, MEMBERS, HOSTS, size));
         }
-        assertEquals(RecordedBytes.lines("share/subsets", computed), computed);
+        assertEquals(RecordedResource.linesOrRecord("share/subsets", computed), computed);
     }
 
     @Test
@@ -41,7 +41,7 @@
                             .map(m -> TurnSchedule.position(task, MEMBERS, m))
                             .toList());
         }
-        assertEquals(RecordedBytes.lines("share/turns", computed), computed);
+        assertEquals(RecordedResource.linesOrRecord("share/turns", computed), computed);
     }
 
     /** A breaker's state, and what others say of theirs, become a turn's by their names. */
--- a/src/test/java/elderseam/gossip/PacketCompatTest.java
+++ b/src/test/java/elderseam/gossip/PacketCompatTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.RecordedResource;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
@@ -49,13 +49,13 @@
     @Test
     void packets() throws IOException {
         List<String> written = PACKETS.stream()
-                .map(packet -> RecordedBytes.hex(PacketCodec.encode(packet, Packet.MAX_DATAGRAM_BYTES)))
+                .map(packet -> RecordedResource.toHex(PacketCodec.encode(packet, Packet.MAX_DATAGRAM_BYTES)))
                 .toList();
-        List<String> recorded = RecordedBytes.lines("gossip/packets", written);
+        List<String> recorded = RecordedResource.linesOrRecord("gossip/packets", written);
         assertEquals(recorded, written);
         for (int i = 0; i < PACKETS.size(); i++) {
             Packet expected = PACKETS.get(i);
-            Packet read = PacketCodec.decode(ByteBuffer.wrap(RecordedBytes.fromHex(recorded.get(i))));
+            Packet read = PacketCodec.decode(ByteBuffer.wrap(RecordedResource.fromHex(recorded.get(i))));
             assertEquals(expected.message(), read.message());
             assertEquals(expected.updates(), read.updates());
             assertEquals(expected.reports().size(), read.reports().size());
@@ -76,9 +76,9 @@
     @Test
     void signedBytes() throws IOException {
         List<String> written = REPORTS.stream()
-                .map(signed -> RecordedBytes.hex(
+                .map(signed -> RecordedResource.toHex(
                         PacketCodec.signedBytes(signed.report(), signed.reporterWallMs(), signed.keyId())))
                 .toList();
-        assertEquals(RecordedBytes.lines("gossip/signed-bytes", written), written);
+        assertEquals(RecordedResource.linesOrRecord("gossip/signed-bytes", written), written);
     }
 }
--- a/src/test/java/elderseam/gossip/security/EnvelopeCompatTest.java
+++ b/src/test/java/elderseam/gossip/security/EnvelopeCompatTest.java
@@ -5,7 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.FolderContents;
+import elderseam.compat.RecordedResource;
 import elderseam.gossip.HealthReport;
 import elderseam.gossip.Message;
 import elderseam.gossip.Packet;
@@ -41,10 +42,10 @@
 
     @BeforeEach
     void readKeys() throws IOException {
-        if (RecordedBytes.missing(KEYS)) {
+        if (RecordedResource.isToBeRecorded(KEYS)) {
             record();
         }
-        Path copy = RecordedBytes.copy(RecordedBytes.path(KEYS), folder.resolve("keys"));
+        Path copy = FolderContents.copyForOwner(RecordedResource.path(KEYS), folder.resolve("keys"));
         keyA = KeyFile.read(copy.resolve("a"));
         keyB = KeyFile.read(copy.resolve("b"));
         roster = Roster.read(copy.resolve(ROSTER));
@@ -53,7 +54,7 @@
     }
 
     private static void record() throws IOException {
-        Path keys = Files.createDirectories(RecordedBytes.path(KEYS));
+        Path keys = Files.createDirectories(RecordedResource.path(KEYS));
         String a = KeyFile.create(keys.resolve("a")).publicKeyText();
         String b = KeyFile.create(keys.resolve("b")).publicKeyText();
         String next = KeyFile.create(keys.resolve("next")).publicKeyText();
@@ -78,7 +79,8 @@
     @Test
     void keyFiles() throws IOException {
         KeyFile.create(folder.resolve("made"));
-        assertEquals(linesWithoutKeys(RecordedBytes.path(KEYS).resolve("a")), linesWithoutKeys(folder.resolve("made")));
+        assertEquals(
+                linesWithoutKeys(RecordedResource.path(KEYS).resolve("a")), linesWithoutKeys(folder.resolve("made")));
     }
 
     private static List<String> linesWithoutKeys(Path keyFile) throws IOException {
@@ -106,10 +108,11 @@
     void envelopes() throws IOException {
         byte[] report = PacketCodec.signedBytes(
                 new HealthReport("a", 1, 2, 3, HealthReport.State.OPEN, 4, 20, 10, 10_000), WALL_MS, keyA.keyId());
-        List<String> written = write(report).stream().map(RecordedBytes::hex).toList();
-        List<String> recorded = RecordedBytes.lines("gossip/envelopes", written);
+        List<String> written =
+                write(report).stream().map(RecordedResource::toHex).toList();
+        List<String> recorded = RecordedResource.linesOrRecord("gossip/envelopes", written);
         assertEquals(recorded, written);
-        read(recorded.stream().map(RecordedBytes::fromHex).toList(), report);
+        read(recorded.stream().map(RecordedResource::fromHex).toList(), report);
     }
 
     private List<byte[]> write(byte[] report) {
--- a/src/test/java/elderseam/gossip/transport/FrameCompatTest.java
+++ b/src/test/java/elderseam/gossip/transport/FrameCompatTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import elderseam.compat.RecordedBytes;
+import elderseam.compat.RecordedResource;
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
 import java.net.DatagramPacket;
@@ -30,8 +30,9 @@
                 .putInt(ENVELOPE.length)
                 .put(ENVELOPE)
                 .array();
-        List<String> recorded = RecordedBytes.lines("gossip/frame", List.of(RecordedBytes.hex(written)));
-        byte[] frame = RecordedBytes.fromHex(recorded.get(0));
+        List<String> recorded =
+                RecordedResource.linesOrRecord("gossip/frame", List.of(RecordedResource.toHex(written)));
+        byte[] frame = RecordedResource.fromHex(recorded.get(0));
         IoLoop io = new IoLoop(new Clock());
         try (StreamTransport server = new StreamTransport(io, ANY_PORT, FrameCompatTest::echo);
                 Socket client = new Socket(
--- a/src/test/java/elderseam/policy/CarriedStateTest.java
+++ b/src/test/java/elderseam/policy/CarriedStateTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import elderseam.compat.CoreProcess;
-import elderseam.compat.Recorded;
+import elderseam.compat.RecordedResource;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -121,12 +121,12 @@
 
     @Test
     void whatIsReadIsWrittenAgain() throws IOException {
-        if (Recorded.wanted(VALUES)) {
-            Recorded.assertLines(VALUES, carry(new Notes(null, new Made())));
+        if (RecordedResource.isToBeRecorded(VALUES)) {
+            RecordedResource.assertLines(VALUES, carry(new Notes(null, new Made())));
         }
-        List<String> recorded = Recorded.lines(VALUES);
+        List<String> recorded = RecordedResource.lines(VALUES);
         Notes read = new Notes(recorded.iterator(), null);
-        Recorded.assertLines(VALUES, carry(read));
+        RecordedResource.assertLines(VALUES, carry(read));
         assertEquals(recorded, read.lines, "all is read");
     }
 
@@ -137,7 +137,7 @@
         policy.endpoints(NOW, ListUpdateKind.COMPLETE, List.of(PolicyTestHarness.ready("a1", 5, 1)));
         Notes written = new Notes(null, null);
         policy.transfer(NOW, written);
-        Recorded.assertLines(FRESH, written.lines);
+        RecordedResource.assertLines(FRESH, written.lines);
     }
 
     @Test
@@ -145,10 +145,10 @@
         PolicyContext context = new PolicyContext(SETTINGS, 3, new PolicyTestHarness(SETTINGS, 3));
         context.now = NOW;
         EndpointDirectory directory = new EndpointDirectory(context);
-        PolicySnapshot.transfer(new Notes(Recorded.lines(VALUES).iterator(), null), directory);
+        PolicySnapshot.transfer(new Notes(RecordedResource.lines(VALUES).iterator(), null), directory);
         List<String> fields = new ArrayList<>();
         directory.endpoints.values().forEach(endpoint -> fields.addAll(fields(endpoint)));
-        Recorded.assertLines(FIELDS, fields);
+        RecordedResource.assertLines(FIELDS, fields);
     }
 
     private static List<String> fields(EndpointState endpoint) {
--- a/src/test/java/elderseam/scenario/ControlCompatTest.java
+++ b/src/test/java/elderseam/scenario/ControlCompatTest.java
@@ -1,6 +1,6 @@
 package elderseam.scenario;
 
-import elderseam.compat.RecordedText;
+import elderseam.compat.RecordedResource;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -60,6 +60,6 @@
                 ask(s, line);
             }
         }
-        RecordedText.check("control/answers", transcript.toString());
+        RecordedResource.assertText("control/answers", transcript.toString());
     }
 }
