--- a/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
+++ b/src/test/java/elderseam/scenario/ClientConnectionEndTest.java
@@ -62,12 +62,14 @@
             }
             s.run(once.toString());
             s.run("c send GET /health/ready\nc expect 200\n");
-            long before = s.resident();
+            long before = s.program().residentKilobytes();
             for (int i = 0; i < 10; i++) {
                 s.run(once.toString());
             }
             s.run("d send GET /health/ready\nd expect 200\n");
-            assertTrue(s.resident() - before < 24_000, before + " kB, then " + s.resident());
+            assertTrue(
+                    s.program().residentKilobytes() - before < 24_000,
+                    before + " kB, then " + s.program().residentKilobytes());
         }
     }
 
@@ -103,11 +105,12 @@
         int most = 300;
         Clock clock = new Clock();
         try (Scenario s = new Scenario(folder)) {
-            s.settings(Scenario.settings()
-                    .replace("\"mostHeld\":64", "\"mostHeld\":" + most)
-                    .replace("\"quotaPerS\":100.0", "\"quotaPerS\":1000.0"));
+            s.launcher()
+                    .setSettings(DispatcherLauncher.defaultSettings()
+                            .replace("\"mostHeld\":64", "\"mostHeld\":" + most)
+                            .replace("\"quotaPerS\":100.0", "\"quotaPerS\":1000.0"));
             int taken = 0;
-            try (Journal journal = new Journal(s.state(), 3_000_000, clock)) {
+            try (Journal journal = new Journal(s.launcher().stateFolder(), 3_000_000, clock)) {
                 long by = clock.now() + 60_000 * Clock.MILLISECOND_NS;
                 while (taken < most - most / 16 - 1
                         && journal.accepted(new ActiveRequest.Message(
@@ -131,7 +134,7 @@
             s.start();
             assertTrue(System.nanoTime() - start < 10_000_000_000L, "ready after 10 s");
             s.run("h1 expect X-Txn: m\nh1 send 200\n".repeat(taken));
-            assertEquals(0, s.told().size(), "given up");
+            assertEquals(0, s.notifications().size(), "given up");
         }
     }
 }
--- /dev/null
+++ b/src/test/java/elderseam/scenario/ClientConnections.java
@@ -0,0 +1,70 @@
+package elderseam.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The clients of a scenario: one connection each, made when a step first needs it, by the client's name. */
+final class ClientConnections {
+    /** Tells where the program listens for a client. */
+    interface Addresses {
+        /** The address as host:port, once the program listens there. */
+        String of(String client) throws IOException;
+    }
+
+    private final Addresses addresses;
+    private final Map<String, RawHttpSocket.Link> links = new HashMap<>();
+
+    ClientConnections(Addresses addresses) {
+        this.addresses = addresses;
+    }
+
+    /** Forgets all connections, which are left as they are. */
+    void clear() {
+        links.clear();
+    }
+
+    /** Does one step of a scenario. */
+    void step(String client, String verb, String words) throws IOException, InterruptedException {
+        switch (verb) {
+            case "send" -> {
+                RawHttpSocket.Link link = connect(client); // first of all: an instant counts from the sending
+                link.write(ScenarioMessages.request(words));
+            }
+            case "raw" -> connect(client).write(ScenarioMessages.rawBytes(words));
+            case "expect" -> ScenarioMessages.assertContains(connect(client).next(), words);
+            case "close" -> links.remove(client).reset();
+            case "end" -> links.get(client).socket.shutdownOutput();
+            default -> awaitEnd(client, words);
+        }
+    }
+
+    private RawHttpSocket.Link connect(String client) throws IOException {
+        RawHttpSocket.Link link = links.get(client);
+        if (link == null) {
+            String[] hostAndPort = addresses.of(client).split(":");
+            Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]));
+            link = new RawHttpSocket.Link(socket, message -> {});
+            links.put(client, link);
+        }
+        return link;
+    }
+
+    /** {@code ended}, {@code closed} or {@code closed MS}. */
+    private void awaitEnd(String client, String words) throws InterruptedException {
+        boolean inOrder = words.equals("ended");
+        long timeoutMs = inOrder || words.equals("closed")
+                ? 1_000 * RawHttpSocket.PATIENCE_S
+                : Long.parseLong(words.substring("closed ".length()));
+        RawHttpSocket.Link link = links.remove(client);
+        assertEquals(RawHttpSocket.ENDED, link.read.poll(timeoutMs, TimeUnit.MILLISECONDS));
+        if (inOrder) {
+            assertFalse(link.reset, "the connection was reset");
+        }
+    }
+}
--- a/src/test/java/elderseam/scenario/ControlCompatTest.java
+++ b/src/test/java/elderseam/scenario/ControlCompatTest.java
@@ -18,7 +18,7 @@
                 .append("> ")
                 .append(line.length() > 300 ? line.length() + " bytes" : line)
                 .append('\n')
-                .append(s.told(line + "\n"));
+                .append(s.control(line + "\n"));
     }
 
     @Test
--- a/src/test/java/elderseam/scenario/ControlTest.java
+++ b/src/test/java/elderseam/scenario/ControlTest.java
@@ -28,7 +28,7 @@
         try (Scenario scenario = new Scenario(folder)) {
             scenario.start();
             List<Socket> stalled = new ArrayList<>();
-            String[] address = scenario.front('o').split(":");
+            String[] address = scenario.controlAddress().split(":");
             for (int i = 0; i < STALLED_CLIENTS; i++) {
                 stalled.add(new Socket(address[0], Integer.parseInt(address[1])));
                 stalled.get(i)
@@ -46,8 +46,8 @@
                     operator ask ATTACH never-listed -> 400 no endpoint
                     operator ask INFO -> 200; edge_relay.inflight=0; edge_relay.hosts_listed=2; edge_relay.hosts_down=0; EOF
                     """);
-            assertTrue(scenario.told("x".repeat(1_000) + "\n").startsWith("400 the line is longer than"));
-            assertTrue(scenario.told("INFO\r\nINFO\r\n").endsWith("EOF\n"));
+            assertTrue(scenario.control("x".repeat(1_000) + "\n").startsWith("400 the line is longer than"));
+            assertTrue(scenario.control("INFO\r\nINFO\r\n").endsWith("EOF\n"));
             for (Socket client : stalled) {
                 client.close();
             }
@@ -98,20 +98,20 @@
             assertEquals(
                     List.of(1L, 2L, 0L, 3L, 0L, 1L),
                     List.of(
-                            scenario.figure("calls.status-update.success"),
-                            scenario.figure("calls.status-update.busy"),
-                            scenario.figure("calls.status-update.failure"),
-                            scenario.figure("calls.status-update.backend_calls"),
-                            scenario.figure("calls.rent-payment.success"),
-                            scenario.figure("calls.rent-payment.failure")));
+                            scenario.infoValue("calls.status-update.success"),
+                            scenario.infoValue("calls.status-update.busy"),
+                            scenario.infoValue("calls.status-update.failure"),
+                            scenario.infoValue("calls.status-update.backend_calls"),
+                            scenario.infoValue("calls.rent-payment.success"),
+                            scenario.infoValue("calls.rent-payment.failure")));
             assertEquals(
                     List.of(2L, 2L),
                     List.of(
-                            scenario.figure("calls.job-order.success"),
-                            scenario.figure("calls.job-order.backend_calls")));
-            assertEquals(1, scenario.figure("hosts_down"), "h1 asked for a long wait");
-            scenario.told("DETACH h2\n");
-            assertEquals(2, scenario.figure("hosts_down"), "and h2 is detached");
+                            scenario.infoValue("calls.job-order.success"),
+                            scenario.infoValue("calls.job-order.backend_calls")));
+            assertEquals(1, scenario.infoValue("hosts_down"), "h1 asked for a long wait");
+            scenario.control("DETACH h2\n");
+            assertEquals(2, scenario.infoValue("hosts_down"), "and h2 is detached");
         }
     }
 
@@ -176,7 +176,7 @@
                     relay close term
                     relay wait exit 0
                     """.replace("{to}", REQUEST_HEADERS));
-            assertTrue(scenario.told().isEmpty());
+            assertTrue(scenario.notifications().isEmpty());
         }
     }
 
@@ -184,9 +184,9 @@
     @Test
     void withoutTheVariableThereIsNoControlAddress() throws Exception {
         try (Scenario scenario = new Scenario(folder)) {
-            scenario.withoutControl();
+            scenario.launcher().withoutControl();
             scenario.start();
-            assertFalse(scenario.listens('o'));
+            assertFalse(scenario.program().hasReached(DispatcherProcess.Milestone.CONTROL_LISTENING));
         }
     }
 }
--- a/src/test/java/elderseam/scenario/DeploymentSettingsTest.java
+++ b/src/test/java/elderseam/scenario/DeploymentSettingsTest.java
@@ -29,7 +29,7 @@
                 CLASS.formatted("zag-2", "by_key", "0.5", "800000000"),
                 CLASS.formatted("zog", "repeatable", "2", "1"),
                 CLASS.formatted("zug", "by_key", "1", "60000000000"));
-        String settings = Scenario.settings().replaceAll("\\s*\n\\s*", "");
+        String settings = DispatcherLauncher.defaultSettings().replaceAll("\\s*\n\\s*", "");
         settings = settings.replaceAll("\"services\":\\[.*}],", "\"services\":[" + classes + "],")
                 .replaceAll(
                         "\"orgs\":\\[[^]]*]",
@@ -47,7 +47,7 @@
 
     private void plays(String script) throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            s.settings(other());
+            s.launcher().setSettings(other());
             s.start();
             s.run(script.replace("{to}", TO));
         }
@@ -160,7 +160,7 @@
                 .replace("\"coldShare\":0.21", "\"coldShare\":21")
                 .replace("\"push\"", "\"pull\"");
         try (Scenario s = new Scenario(folder)) {
-            s.settings(bad);
+            s.launcher().setSettings(bad);
             s.launch();
             String file = folder.resolve("config.json").toString();
             for (String line : List.of(
@@ -180,7 +180,7 @@
     @Test
     void withoutAnIdleTimeEachCallHasAConnection() throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            s.settings(other().replaceFirst("\"connIdleNs\":\\d+,?", ""));
+            s.launcher().setSettings(other().replaceFirst("\"connIdleNs\":\\d+,?", ""));
             s.start();
             s.run("c send POST /zig; {to} X-Txn: a\nc expect 202\nh1 expect X-Txn: a\n".replace("{to}", TO));
         }
--- a/src/test/java/elderseam/scenario/DiscoveryWatchTest.java
+++ b/src/test/java/elderseam/scenario/DiscoveryWatchTest.java
@@ -50,7 +50,9 @@
     @Test
     void theNextWatchIsOnANewConnection() throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            s.settings(Scenario.settings().replaceFirst("\"connIdleNs\":\\d+", "\"connIdleNs\":30000000000"));
+            s.launcher()
+                    .setSettings(DispatcherLauncher.defaultSettings()
+                            .replaceFirst("\"connIdleNs\":\\d+", "\"connIdleNs\":30000000000"));
             s.start();
             s.run("""
                     platform watched 60000
--- a/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
+++ b/src/test/java/elderseam/scenario/EndpointConnectionEndTest.java
@@ -144,7 +144,7 @@
             for (int i = 0; i < 2; i++) { // one more than the backlog says
                 fill.add(new Socket(full.getInetAddress(), full.getLocalPort()));
             }
-            s.place("h3", full);
+            s.setEndpointServer("h3", full);
             s.start();
             s.run("platform send h1 DRAINING\nplatform send h3 SERVING\noperator wait INFO -> hosts_listed=3\n"
                     + "c send POST /rent-payment; {to} X-Txn: pay\nc expect 202\n".replace("{to}", TO));
--- a/src/test/java/elderseam/scenario/GossipCost.java
+++ b/src/test/java/elderseam/scenario/GossipCost.java
@@ -29,13 +29,15 @@
                 for (int i = 0; i < PROCESSES; i++) {
                     Scenario s = new Scenario(Files.createDirectory(folder.resolve("n" + i)));
                     all.add(s);
-                    s.withoutEvents();
-                    s.events(
-                            on
-                                    ? "[gossip]\nlisten = " + at.get(i) + ":7946\nname = n" + i + "\nkey_file = "
-                                            + folder.resolve("k" + i) + "\nroster = " + folder.resolve("roster")
-                                            + "\nseeds = " + at.get(0) + ":7946\n"
-                                    : "");
+                    s.launcher().withoutEvents();
+                    s.launcher()
+                            .setSettingsLines(
+                                    on
+                                            ? "[gossip]\nlisten = " + at.get(i) + ":7946\nname = n" + i
+                                                    + "\nkey_file = "
+                                                    + folder.resolve("k" + i) + "\nroster = " + folder.resolve("roster")
+                                                    + "\nseeds = " + at.get(0) + ":7946\n"
+                                            : "");
                     s.start();
                 }
                 long before = ticks(all);
@@ -59,7 +61,7 @@
     private static long ticks(List<Scenario> all) throws Exception {
         long sum = 0;
         for (Scenario s : all) {
-            sum += s.ticks();
+            sum += s.program().cpuTicks();
         }
         return sum;
     }
@@ -67,7 +69,7 @@
     private static long resident(List<Scenario> all) throws Exception {
         long kb = 0;
         for (Scenario s : all) {
-            kb += s.resident();
+            kb += s.program().residentKilobytes();
         }
         return kb;
     }
--- a/src/test/java/elderseam/scenario/GossipFleet.java
+++ b/src/test/java/elderseam/scenario/GossipFleet.java
@@ -69,8 +69,8 @@
     final void start(String name) throws Exception {
         Scenario s = new Scenario(folder.resolve(name));
         programs.put(name, s);
-        s.withoutEvents();
-        s.events(section(name));
+        s.launcher().withoutEvents();
+        s.launcher().setSettingsLines(section(name));
         s.start();
     }
 
--- a/src/test/java/elderseam/scenario/HandoverScenarioTest.java
+++ b/src/test/java/elderseam/scenario/HandoverScenarioTest.java
@@ -29,7 +29,7 @@
 
     private Scenario started() throws Exception {
         Scenario s = new Scenario(folder);
-        s.fixed();
+        s.launcher().useFixedAddress();
         s.start();
         return s;
     }
@@ -53,9 +53,9 @@
                     older wait exit 0
                     platform wait quiet 100
                     """.replace("{to}", TO));
-            assertEquals(1, s.figure("calls.rent-payment.success"));
-            assertEquals(1, s.figure("calls.status-update.backend_calls"));
-            assertEquals(0, s.figure("inflight"));
+            assertEquals(1, s.infoValue("calls.rent-payment.success"));
+            assertEquals(1, s.infoValue("calls.status-update.backend_calls"));
+            assertEquals(0, s.infoValue("inflight"));
         }
     }
 
@@ -127,7 +127,7 @@
                     c expect 202
                     h1 expect pay
                     """.replace("{to}", TO));
-            HandoverChannel channel = s.asking();
+            HandoverChannel channel = s.requestTransfer();
             assertTrue(channel.receive().orElseThrow() instanceof HandoverFrame.StateTransfer transfer
                     && transfer.state().inFlight().size() == 1);
             s.run("""
--- a/src/test/java/elderseam/scenario/ProcessEndTest.java
+++ b/src/test/java/elderseam/scenario/ProcessEndTest.java
@@ -121,7 +121,7 @@
         try (Scenario s = new Scenario(folder)) {
             s.start();
             s.run(WAITS.replace("{to}", TO));
-            Path learned = s.state().resolve("learned");
+            Path learned = s.launcher().stateFolder().resolve("learned");
             FileTime told = FileTime.from(Instant.now());
             long last = System.nanoTime() + RawHttpSocket.PATIENCE_S * 1_000_000_000L;
             while (!Files.exists(learned)
@@ -165,7 +165,7 @@
 
     private void halfWritten(String then) throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            s.narrow("h1");
+            s.endpoint("h1").stopReading();
             s.start();
             s.run(steps("c send POST /rent-payment; {to} X-Txn: pay | {64K}\nc expect 202\nh1 wait begun\n" + then));
         }
--- a/src/test/java/elderseam/scenario/ReloadTest.java
+++ b/src/test/java/elderseam/scenario/ReloadTest.java
@@ -55,7 +55,7 @@
     @Test
     void aNewFileCountsWhereTheSignalIsIgnored() throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            s.deafToHangUps();
+            s.launcher().ignoreHangUps();
             s.start();
             s.run("""
                     platform watched 60000
--- a/src/test/java/elderseam/scenario/RestartTest.java
+++ b/src/test/java/elderseam/scenario/RestartTest.java
@@ -104,7 +104,9 @@
                     relay close kill
                     """.replace("{to}", TO));
             Files.write(
-                    s.state().resolve("journal"), new byte[] {0, 0, 0, 90, 1, 2, 3, 4, 5}, StandardOpenOption.APPEND);
+                    s.launcher().stateFolder().resolve("journal"),
+                    new byte[] {0, 0, 0, 90, 1, 2, 3, 4, 5},
+                    StandardOpenOption.APPEND);
             s.run("""
                     relay wait start
                     h1 expect say
@@ -125,7 +127,7 @@
                         + " | {64K}\nc expect " + (i < 7 ? "202" : "503; Retry-After") + "\n");
             }
             s.run(script + "c send GET /health/ready\nc expect 200\nplatform expect deferred\n");
-            try (Stream<Path> files = Files.list(s.state())) {
+            try (Stream<Path> files = Files.list(s.launcher().stateFolder())) {
                 assertTrue(files.mapToLong(f -> f.toFile().length()).sum() <= 1_000_000);
             }
             s.run("platform expect deferred\n".repeat(6) + """
--- a/src/test/java/elderseam/scenario/RulesCost.java
+++ b/src/test/java/elderseam/scenario/RulesCost.java
@@ -54,26 +54,32 @@
     private static void measure(String kind) throws Exception {
         Path folder = Files.createTempDirectory("rules-cost");
         try (Scenario s = new Scenario(folder)) {
-            s.withoutEvents();
+            s.launcher().withoutEvents();
             if (!kind.equals("off")) {
-                s.events("[rules]\nfiles = " + Files.writeString(folder.resolve("a.rules"), rules(kind)) + "\n");
+                s.launcher()
+                        .setSettingsLines(
+                                "[rules]\nfiles = " + Files.writeString(folder.resolve("a.rules"), rules(kind)) + "\n");
             }
             long start = System.nanoTime();
             s.start();
             long ready = (System.nanoTime() - start) / 1_000_000;
             load(s, EACH / 3);
-            long ticks = s.ticks();
+            long ticks = s.program().cpuTicks();
             long from = System.nanoTime();
             load(s, EACH);
             double seconds = (System.nanoTime() - from) / 1e9;
             System.out.printf(
                     "%-22s %12.0f %14.1f %14d %12d%n",
-                    kind, CLIENTS * EACH / seconds, (s.ticks() - ticks) * 1e4 / (CLIENTS * EACH), s.resident(), ready);
+                    kind,
+                    CLIENTS * EACH / seconds,
+                    (s.program().cpuTicks() - ticks) * 1e4 / (CLIENTS * EACH),
+                    s.program().residentKilobytes(),
+                    ready);
         }
     }
 
     private static void load(Scenario s, int each) throws Exception {
-        String[] at = s.front('c').split(":");
+        String[] at = s.clientAddress().split(":");
         byte[] request =
                 ("POST /rent-payment HTTP/1.1\r\nHost: api.internal\r\nX-Org: erongo-lettings\r\nX-Addressing: dest=777\r\nX-Remaining: 9000m\r\nX-Kind: other\r\n"
                                 + "X-Txn: m\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY)
--- a/src/test/java/elderseam/scenario/RulesScenario.java
+++ b/src/test/java/elderseam/scenario/RulesScenario.java
@@ -37,7 +37,7 @@
     final Scenario scenario(String rules) throws Exception {
         writeRules(rules);
         Scenario scenario = new Scenario(folder);
-        scenario.events("[rules]\nfiles = " + rulesFile());
+        scenario.launcher().setSettingsLines("[rules]\nfiles = " + rulesFile());
         return scenario;
     }
 
--- a/src/test/java/elderseam/scenario/SecureEventsTest.java
+++ b/src/test/java/elderseam/scenario/SecureEventsTest.java
@@ -28,10 +28,11 @@
         StandInAuthority authority = new StandInAuthority(
                 new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
         try (Scenario s = new Scenario(folder)) {
-            s.events("[acme]\ndirectory = " + authority.directory() + "\nnames = localhost\nfolder = "
-                    + folder.resolve("certificates") + "\nchallenges = 127.0.0.1:" + port + "\n");
+            s.launcher()
+                    .setSettingsLines("[acme]\ndirectory = " + authority.directory() + "\nnames = localhost\nfolder = "
+                            + folder.resolve("certificates") + "\nchallenges = 127.0.0.1:" + port + "\n");
             s.start();
-            String at = s.front('e');
+            String at = s.eventsAddress();
             CompletableFuture<HttpResponse<String>> answer = AcmeTestSupport.trustingClient(authority)
                     .sendAsync(
                             HttpRequest.newBuilder(
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -142,7 +142,7 @@
     @Test
     void aStarvedRestartTellsWhatIsDueBeforeItIsReady() throws Exception {
         try (Scenario s = new Scenario(folder)) {
-            List<List<String>> left = left(s.state());
+            List<List<String>> left = left(s.launcher().stateFolder());
             AtomicBoolean busy = new AtomicBoolean(true);
             List<Thread> others = new ArrayList<>();
             for (int i = 0; i < Runtime.getRuntime().availableProcessors(); i++) {
@@ -155,9 +155,9 @@
                 others.add(t);
             }
             try {
-                s.yielding(1);
+                s.launcher().setNiceness(1);
                 s.start(); // until ready
-                List<String> told = s.told().stream()
+                List<String> told = s.notifications().stream()
                         .map(l -> l.replaceAll(".*\"id\":\"(m\\d+)\".*", "$1"))
                         .toList();
                 assertTrue(told.containsAll(left.get(0)), "ends owed by the earlier process");
--- a/src/test/java/elderseam/scenario/StartupClassLoadingTest.java
+++ b/src/test/java/elderseam/scenario/StartupClassLoadingTest.java
@@ -53,9 +53,9 @@
     private List<String> loaded(boolean events) throws Exception {
         Path classes = folder.resolve("classes.log");
         try (Scenario s = new Scenario(folder)) {
-            s.flags("-Xlog:class+load:file=" + classes + ":none");
+            s.launcher().setJvmFlag("-Xlog:class+load:file=" + classes + ":none");
             if (!events) {
-                s.withoutEvents();
+                s.launcher().withoutEvents();
             }
             s.start();
             s.run("""
