Fault tests: settings, logs, acts and fault injection leave ProcessCluster

The member's settings file, the log events, the store's acts, the carrying out of faults, the setup and the waits are now types of their own; names of its members are whole words.

--- a/src/main/java/elderseam/testkit/faults/ClusterMember.java
+++ b/src/main/java/elderseam/testkit/faults/ClusterMember.java
@@ -135,7 +135,7 @@
     }
 
     /** What its second address answers to a line. */
-    String told(String line) throws IOException {
+    String ask(String line) throws IOException {
         String at = await(control);
         int colon = at.lastIndexOf(':');
         try (Socket s = new Socket(at.substring(0, colon), Integer.parseInt(at.substring(colon + 1)))) {
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -29,12 +29,12 @@
         FaultSchedule leases = FaultSchedule.leases();
         FaultSchedule plan = new FaultSchedule(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
         f.put("members", members);
-        processes(f, "off", new ProcessCluster(plan, folder.resolve("off"), ProcessCluster.Setup.OFF));
+        processes(f, "off", new ProcessCluster(plan, folder.resolve("off"), ClusterSetup.OFF));
         processes(
                 f,
                 "on",
                 new ProcessCluster(
-                        plan, folder.resolve("on"), new ProcessCluster.Setup(true, "discovery = one\n", false, true)));
+                        plan, folder.resolve("on"), ClusterSetup.withLeases("discovery = one\n", false, true)));
         operations(f, members, folder.resolve("group"));
         return f;
     }
@@ -42,16 +42,16 @@
     private static void processes(Map<String, Object> f, String word, ProcessCluster cluster) throws IOException {
         try (ProcessCluster c = cluster) {
             if (word.equals("on")) {
-                c.awaitLogged(
+                c.awaitLastEvent(
                         "discovery.",
                         "discovery.watch_delegated",
                         c.group().size() - 1,
                         System.nanoTime() + 30_000_000_000L);
             }
-            long lists = c.outside().lists();
+            long lists = c.services().lists();
             long cpu = cpu(c);
-            ProcessCluster.pause(SPAN_S * 1_000L); // the span that is measured
-            f.put("discovery_calls_per_s_" + word, (double) (c.outside().lists() - lists) / SPAN_S);
+            Waits.sleep(SPAN_S * 1_000L); // the span that is measured
+            f.put("discovery_calls_per_s_" + word, (double) (c.services().lists() - lists) / SPAN_S);
             f.put(
                     "idle_cpu_percent_" + word,
                     (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
--- a/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
@@ -86,12 +86,12 @@
             return VersionTestRun.run(plan, t, tell);
         }
         if (onGossip(t)) {
-            return gossip(plan, t, t.plant().equals("gossip") ? "lowest" : "majority", tell);
+            return gossip(plan, t, gossipRule(t.plant()), tell);
         }
         try (ProcessCluster c = new ProcessCluster(
-                plan, t.folder(), new ProcessCluster.Setup(true, "", true, !"no-fence".equals(t.plant())))) {
+                plan, t.folder(), ClusterSetup.withLeases("", true, !"no-fence".equals(t.plant())))) {
             c.history().event("healed").append(); // the first holder is owed as one after a heal is
-            c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000);
+            c.awaitAct(System.nanoTime() + LIVENESS_MS * 1_000_000);
             for (int n = 0; n < t.rounds(); n++) {
                 List<FaultInjection> faults = faults(plan, t, n);
                 tell.accept("round " + n + ": " + faults);
@@ -113,13 +113,18 @@
         return t.plant() != null && t.plant().startsWith("gossip");
     }
 
+    private static ClusterSetup.GossipLease gossipRule(String plant) {
+        return plant.equals("gossip") ? ClusterSetup.GossipLease.LOWEST : ClusterSetup.GossipLease.MAJORITY;
+    }
+
     /** Rounds with a lease on gossip alone, held by {@code rule}; nothing acts on it, and lease safety alone is checked. */
-    static Result gossip(FaultSchedule plan, Terms t, String rule, Consumer<String> tell) throws IOException {
+    static Result gossip(FaultSchedule plan, Terms t, ClusterSetup.GossipLease rule, Consumer<String> tell)
+            throws IOException {
         long began = System.nanoTime();
-        try (ProcessCluster c = new ProcessCluster(plan, t.folder(), ProcessCluster.Setup.gossip(rule))) {
+        try (ProcessCluster c = new ProcessCluster(plan, t.folder(), ClusterSetup.withLeaseOnGossip(rule))) {
             for (int n = 0; n < t.rounds(); n++) {
                 tell.accept("round " + n + ": " + plan.faults());
-                if (!c.granted("n1", System.nanoTime() + LIVENESS_MS * 1_000_000)) {
+                if (!c.awaitGrant("n1", System.nanoTime() + LIVENESS_MS * 1_000_000)) {
                     throw new IOException("n1 holds no lease on gossip; the histories are in " + t.folder());
                 }
                 play(c, plan, plan.faults());
@@ -137,7 +142,7 @@
         long ends = began + plan.roundMs() * 1_000_000;
         for (FaultInjection f : faults) {
             until(c, began + f.atMs() * 1_000_000);
-            c.befall(f);
+            c.inject(f);
         }
         until(c, ends);
     }
@@ -146,18 +151,18 @@
             throws IOException {
         play(c, plan, faults);
         c.heal(heals);
-        c.acted(System.nanoTime() + LIVENESS_MS * 1_000_000); // none in time is the liveness checker's to tell
+        c.awaitAct(System.nanoTime() + LIVENESS_MS * 1_000_000); // none in time is the liveness checker's to tell
     }
 
     /** Waits, and lets stalled members go at their times. */
     private static void until(ProcessCluster c, long atNs) throws IOException {
         while (true) {
             long now = System.nanoTime();
-            long next = Math.min(atNs, c.resume(now));
+            long next = Math.min(atNs, c.resumeDue(now));
             if (now >= atNs) {
                 return;
             }
-            ProcessCluster.pause((next - now) / 1_000_000 + 1);
+            Waits.sleep((next - now) / 1_000_000 + 1);
         }
     }
 
--- a/src/main/java/elderseam/testkit/faults/VersionProposals.java
+++ b/src/main/java/elderseam/testkit/faults/VersionProposals.java
@@ -13,7 +13,7 @@
 
     /** A value of what a member answers to CONFIG; "" where it says nothing of that. */
     static String value(ProcessCluster c, String member, String name) throws IOException {
-        return value(c.member(member).told("CONFIG"), name);
+        return value(c.member(member).ask("CONFIG"), name);
     }
 
     private static String value(String answer, String name) {
@@ -33,7 +33,7 @@
         String answer = latest.isEmpty()
                 ? ""
                 : c.member(name)
-                        .told("CONFIG PROPOSE " + latest + " "
+                        .ask("CONFIG PROPOSE " + latest + " "
                                 + ConfigurationVersion.shortHash(VersionContent.read(file)) + " " + file + " " + note);
         c.history()
                 .event("propose")
@@ -50,7 +50,7 @@
             boolean sure = true;
             for (String g : c.group()) {
                 if (c.member(g).alive()) {
-                    String s = c.member(g).told("CONFIG"); // one answer: its lines are of one moment
+                    String s = c.member(g).ask("CONFIG"); // one answer: its lines are of one moment
                     acting.add(value(s, "acting"));
                     sure &= value(s, "acting").equals(value(s, "latest"))
                             && value(s, "doubt").equals("no")
@@ -63,7 +63,7 @@
             if (System.nanoTime() > byNs) {
                 throw new IOException("the members do not agree on a version: " + acting);
             }
-            ProcessCluster.pause(20); // members are asked; they tell nothing unasked
+            Waits.sleep(20); // members are asked; they tell nothing unasked
         }
     }
 }
--- a/src/main/java/elderseam/testkit/faults/VersionTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/VersionTestRun.java
@@ -31,14 +31,14 @@
     private VersionTestRun() {}
 
     /** {@code plant}: one of {@link #PLANTS}, or null. */
-    static ProcessCluster.Setup setup(String plant) {
-        return new ProcessCluster.Setup(
+    static ClusterSetup setup(String plant) {
+        return new ClusterSetup(
                 true,
                 name -> "versions_bound_ms = " + BOUND_MS + "\n[rehearsal]\nversions = "
                         + (plant == null ? "right" : plant) + "\n",
                 false,
                 true,
-                "");
+                ClusterSetup.GossipLease.NO_GOSSIP);
     }
 
     static LeaseTestRun.Result run(FaultSchedule plan, LeaseTestRun.Terms t, Consumer<String> tell) throws IOException {
--- a/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
@@ -84,24 +84,24 @@
 
     /** Sends a message and waits until the partner has it, so that the quota of messages held is never reached. */
     private static void sendAndAwaitDelivery(ProcessCluster cluster, String member) throws Exception {
-        long deliveredBefore = cluster.outside().delivered();
-        int code = cluster.outside().send(cluster.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
+        long deliveredBefore = cluster.services().delivered();
+        int code = cluster.services().send(cluster.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
         assertEquals(202, code);
         long deadline = System.nanoTime() + MESSAGE_DEADLINE_NS;
-        while (cluster.outside().delivered() == deliveredBefore) {
+        while (cluster.services().delivered() == deliveredBefore) {
             assertTrue(System.nanoTime() < deadline, "accepted, but not delivered before its deadline");
-            ProcessCluster.pause(1);
+            Waits.sleep(1);
         }
     }
 
     /** No lease without a majority; messages are served all the same. */
     @Test
     void withoutAMajorityNothingIsGrantedAndMessagesAreServed() throws Exception {
-        try (ProcessCluster c = new ProcessCluster(plan(1_000), folder, ProcessCluster.Setup.USUAL)) {
-            assertTrue(c.acted(System.nanoTime() + 20_000_000_000L));
-            c.befall(FaultInjection.parse(0, "crash n2"));
-            c.befall(FaultInjection.parse(0, "crash n3"));
-            ProcessCluster.pause(1_500); // the longest that a lease which is held can last, and more
+        try (ProcessCluster c = new ProcessCluster(plan(1_000), folder, ClusterSetup.DEFAULT)) {
+            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L));
+            c.inject(FaultInjection.parse(0, "crash n2"));
+            c.inject(FaultInjection.parse(0, "crash n3"));
+            Waits.sleep(1_500); // the longest that a lease which is held can last, and more
             long granted = HistoryCheckers.read(c.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
@@ -111,10 +111,10 @@
                     granted,
                     HistoryCheckers.read(c.histories()).count("granted"),
                     "nothing was granted without a majority");
-            assertTrue(c.member("n1").told("FLEET").contains("=not held"));
-            assertTrue(c.outside().delivered() > 0);
+            assertTrue(c.member("n1").ask("FLEET").contains("=not held"));
+            assertTrue(c.services().delivered() > 0);
             c.heal(true);
-            assertTrue(c.acted(System.nanoTime() + 20_000_000_000L), "held again after the others are back");
+            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L), "held again after the others are back");
             assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -36,8 +36,8 @@
         return System.nanoTime() + seconds * 1_000_000_000L;
     }
 
-    private ProcessCluster.Setup setup(StandInAuthority authority, int port, Path key) {
-        return new ProcessCluster.Setup(
+    private ClusterSetup setup(StandInAuthority authority, int port, Path key) {
+        return new ClusterSetup(
                 true,
                 name -> "certificates = one\ncertificate_key = " + key
                         + "\n[events]\nlisten = 127.0.0.1:0\n[acme]\ndirectory = "
@@ -46,12 +46,12 @@
                         + (name.equals("n1") ? port : 0) + "\n",
                 false,
                 true,
-                "");
+                ClusterSetup.GossipLease.NO_GOSSIP);
     }
 
     private static String holder(ProcessCluster c) throws IOException {
         for (String name : c.group()) {
-            if (c.member(name).alive() && c.member(name).told("FLEET").contains("lease.certificate:localhost=held")) {
+            if (c.member(name).alive() && c.member(name).ask("FLEET").contains("lease.certificate:localhost=held")) {
                 return name;
             }
         }
@@ -74,7 +74,7 @@
         Set<String> now = chains(living);
         while (now.size() != 1 || now.contains("") || now.contains(before)) {
             assertTrue(System.nanoTime() < byNs, "no one chain on all: " + now.size());
-            ProcessCluster.pause(50); // files tell nobody of a change
+            Waits.sleep(50); // files tell nobody of a change
             now = chains(living);
         }
         return now.iterator().next();
@@ -95,14 +95,14 @@
             String first = one(c, "", by(60));
             assertEquals(1, authority.ordered(), "one order for three members");
             if (holder(c).equals("n1")) { // the renewal is another's, while the authority goes on asking n1
-                c.befall(FaultInjection.parse(0, "end n1"));
+                c.inject(FaultInjection.parse(0, "end n1"));
                 c.heal(true);
             }
             String second = one(c, first, by(60));
             assertEquals(2, authority.signed(), "one renewal for three members");
             String holder = holder(c);
             if (!holder.equals("n1")) {
-                c.befall(FaultInjection.parse(0, "crash " + holder));
+                c.inject(FaultInjection.parse(0, "crash " + holder));
             }
             one(c, second, by(60));
             assertEquals(3, authority.signed(), "and one by whoever holds the lease after a crash");
--- a/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
@@ -25,18 +25,18 @@
     }
 
     private static long callsIn(ProcessCluster c, int seconds) throws Exception {
-        long before = c.outside().lists();
-        ProcessCluster.pause(seconds * 1_000L); // the span that is measured
-        return c.outside().lists() - before;
+        long before = c.services().lists();
+        Waits.sleep(seconds * 1_000L); // the span that is measured
+        return c.services().lists() - before;
     }
 
     /** A new destination's message is taken by each member, once the list that has it has come there. */
     private static void allLearnOf(ProcessCluster c, int destination) throws Exception {
         for (String name : c.group()) {
             long by = by(20);
-            while (c.outside().send(c.member(name).ready(), destination).get(10, TimeUnit.SECONDS) != 202) {
+            while (c.services().send(c.member(name).ready(), destination).get(10, TimeUnit.SECONDS) != 202) {
                 assertTrue(System.nanoTime() < by, name + " does not know destination " + destination);
-                ProcessCluster.pause(20);
+                Waits.sleep(20);
             }
         }
     }
@@ -44,28 +44,28 @@
     @Test
     void oneWatchesForAllAndAnotherAfterIt() throws Exception {
         long each;
-        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ProcessCluster.Setup.OFF)) {
+        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
             each = callsIn(c, SECONDS);
         }
         try (ProcessCluster c = new ProcessCluster(
-                PLAN, folder.resolve("on"), new ProcessCluster.Setup(true, "discovery = one\n", true, true))) {
+                PLAN, folder.resolve("on"), ClusterSetup.withLeases("discovery = one\n", true, true))) {
             assertTrue(
-                    c.awaitLogged("discovery.", "discovery.watch_delegated", 2, by(20)),
+                    c.awaitLastEvent("discovery.", "discovery.watch_delegated", 2, by(20)),
                     "two members leave the watch to the third");
             long one = callsIn(c, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
-            allLearnOf(c, c.outside().grow());
+            allLearnOf(c, c.services().grow());
             String watcher = c.group().stream()
-                    .filter(g -> !c.lastLogged("discovery.", "discovery.watch_delegated")
+                    .filter(g -> !c.membersWithLastEvent("discovery.", "discovery.watch_delegated")
                             .contains(g))
                     .findFirst()
                     .orElseThrow();
-            c.befall(FaultInjection.parse(0, "crash " + watcher));
+            c.inject(FaultInjection.parse(0, "crash " + watcher));
             assertTrue(
-                    c.awaitLogged("discovery.", "discovery.watch_started", 1, by(30)),
+                    c.awaitLastEvent("discovery.", "discovery.watch_started", 1, by(30)),
                     "one of the others takes the watch over");
             c.heal(true);
-            allLearnOf(c, c.outside().grow());
+            allLearnOf(c, c.services().grow());
             assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
--- a/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
@@ -26,15 +26,15 @@
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
-        c.outside().fail(true);
+        c.services().fail(true);
         feed(c, at, 5_000); // the breakers open, and the lease is taken
-        long before = c.outside().failed();
+        long before = c.services().failed();
         feed(c, at, 12_000);
-        long calls = c.outside().failed() - before;
-        c.outside().fail(false);
-        long delivered = c.outside().delivered();
+        long calls = c.services().failed() - before;
+        c.services().fail(false);
+        long delivered = c.services().delivered();
         long by = System.nanoTime() + 20_000_000_000L;
-        while (c.outside().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
+        while (c.services().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
             assertTrue(System.nanoTime() < by, "not delivered again after the outage");
             feed(c, at, 200);
         }
@@ -45,9 +45,9 @@
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until) {
             for (String member : at) {
-                c.outside().send(member, 1).get(10, TimeUnit.SECONDS);
+                c.services().send(member, 1).get(10, TimeUnit.SECONDS);
             }
-            ProcessCluster.pause(50); // the traffic's own pace
+            Waits.sleep(50); // the traffic's own pace
         }
     }
 
@@ -55,12 +55,12 @@
     void oneTriesForAll() throws Exception {
         long each;
         long one;
-        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ProcessCluster.Setup.OFF)) {
+        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
             each = callsInAnOutage(c);
         }
-        try (ProcessCluster c = new ProcessCluster(
-                PLAN, folder.resolve("on"), new ProcessCluster.Setup(true, "trials = one\n", true, true))) {
-            assertTrue(c.acted(System.nanoTime() + 20_000_000_000L), "the group has a leader");
+        try (ProcessCluster c =
+                new ProcessCluster(PLAN, folder.resolve("on"), ClusterSetup.withLeases("trials = one\n", true, true))) {
+            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L), "the group has a leader");
             one = callsInAnOutage(c);
             assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
--- a/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
+++ b/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
@@ -36,20 +36,20 @@
 
     /** The most calls at an endpoint over the mean, of so many messages handed in at each member, one after the other. */
     private static double unevenness(ProcessCluster c, int messages) throws Exception {
-        long[] before = c.outside().calls();
+        long[] before = c.services().calls();
         for (int i = 0; i < messages; i++) {
             for (String name : living(c)) {
-                assertEquals(202, c.outside().send(c.member(name).ready(), 1).get(10, TimeUnit.SECONDS));
+                assertEquals(202, c.services().send(c.member(name).ready(), 1).get(10, TimeUnit.SECONDS));
             }
         }
         long sum = 0;
         long delivered = by(10);
-        long[] now = c.outside().calls();
+        long[] now = c.services().calls();
         while ((sum = Arrays.stream(now).sum() - Arrays.stream(before).sum())
                 < (long) messages * living(c).size()) {
             assertTrue(System.nanoTime() < delivered, sum + " calls");
-            ProcessCluster.pause(20); // the calls follow their answers
-            now = c.outside().calls();
+            Waits.sleep(20); // the calls follow their answers
+            now = c.services().calls();
         }
         long most = 0;
         for (int i = 0; i < now.length; i++) {
@@ -62,30 +62,29 @@
     void aHerdIsSeenAndSubsetsStayEven() throws Exception {
         double off;
         double on;
-        try (ProcessCluster c = new ProcessCluster(plan(8), folder.resolve("off"), ProcessCluster.Setup.OFF, 4)) {
+        try (ProcessCluster c = new ProcessCluster(plan(8), folder.resolve("off"), ClusterSetup.OFF, 4)) {
             off = unevenness(c, 20);
         }
-        try (ProcessCluster c =
-                new ProcessCluster(plan(8), folder.resolve("on"), ProcessCluster.Setup.gossiping(SHARES), 4)) {
+        try (ProcessCluster c = new ProcessCluster(plan(8), folder.resolve("on"), ClusterSetup.withGossip(SHARES), 4)) {
             assertTrue(
-                    c.awaitLogged("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
+                    c.awaitLastEvent("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
                     "all see all");
             on = unevenness(c, 20);
             System.out.println("most calls at an endpoint over the mean, 8 members, 4 endpoints: " + off
                     + " each for itself, " + on + " by subsets");
             assertTrue(on < 1.15, on + " by subsets, " + off + " without");
             for (int i = 4; i <= 8; i++) {
-                c.befall(FaultInjection.parse(0, "crash n" + i));
+                c.inject(FaultInjection.parse(0, "crash n" + i));
             }
             long from = System.nanoTime();
             assertTrue(unevenness(c, 5) > 0, "the three that are left deliver all the same");
             assertTrue(
-                    c.awaitLogged("partition.", "partition.changed members=3 limit_divisor=3", 3, by(45)),
+                    c.awaitLastEvent("partition.", "partition.changed members=3 limit_divisor=3", 3, by(45)),
                     "a herd that has gone");
             System.out.println("seen after " + (System.nanoTime() - from) / 1_000_000 + " ms, of which 2 s are held");
             c.heal(true);
             assertTrue(
-                    c.awaitLogged("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
+                    c.awaitLastEvent("partition.", "partition.changed members=8 limit_divisor=8", 8, by(30)),
                     "and come back");
             assertTrue(unevenness(c, 20) < 1.15);
         }
@@ -96,15 +95,15 @@
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
-        c.outside().fail(true);
+        c.services().fail(true);
         LeasedRecoveryProbeTest.feed(c, at, 4_000);
-        long before = c.outside().failed();
+        long before = c.services().failed();
         LeasedRecoveryProbeTest.feed(c, at, 8_000);
-        long calls = c.outside().failed() - before;
-        c.outside().fail(false);
-        long delivered = c.outside().delivered();
+        long calls = c.services().failed() - before;
+        c.services().fail(false);
+        long delivered = c.services().delivered();
         long until = by(20);
-        while (c.outside().delivered() < delivered + 40) { // more than one member could deliver in the time alone
+        while (c.services().delivered() < delivered + 40) { // more than one member could deliver in the time alone
             assertTrue(System.nanoTime() < until, "not delivered again after the outage");
             LeasedRecoveryProbeTest.feed(c, at, 200);
         }
@@ -116,18 +115,15 @@
     void oneTriesByTurns() throws Exception {
         long each;
         long one;
-        try (ProcessCluster c =
-                new ProcessCluster(plan(4), folder.resolve("off"), ProcessCluster.Setup.gossiping(""))) {
+        try (ProcessCluster c = new ProcessCluster(plan(4), folder.resolve("off"), ClusterSetup.withGossip(""))) {
             each = callsInAnOutage(c);
         }
         try (ProcessCluster c = new ProcessCluster(
-                plan(4),
-                folder.resolve("on"),
-                ProcessCluster.Setup.gossiping("[shares]\nmembers = gossip\ntrials = one\n"))) {
+                plan(4), folder.resolve("on"), ClusterSetup.withGossip("[shares]\nmembers = gossip\ntrials = one\n"))) {
             assertTrue(
-                    c.awaitLogged("partition.", "partition.changed members=4 limit_divisor=4", 4, by(30)),
+                    c.awaitLastEvent("partition.", "partition.changed members=4 limit_divisor=4", 4, by(30)),
                     "all see all");
-            c.befall(FaultInjection.parse(0, "lose 30"));
+            c.inject(FaultInjection.parse(0, "lose 30"));
             one = callsInAnOutage(c);
         }
         System.out.println("calls in 8 s of an outage: " + each + " each for itself, " + one + " by turns");
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -61,7 +61,7 @@
     }
 
     private static int send(ProcessCluster c, String member) throws Exception {
-        return c.outside().send(c.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
+        return c.services().send(c.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
     }
 
     /** Proposes, and waits until all act on it. */
@@ -70,8 +70,8 @@
         assertFalse(hash.isEmpty());
         long until = by(30);
         while (!VersionProposals.agreed(c, until).equals(hash)) {
-            assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).told("CONFIG"));
-            ProcessCluster.pause(20);
+            assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).ask("CONFIG"));
+            Waits.sleep(20);
         }
     }
 
@@ -79,7 +79,7 @@
     private static void awaitDoubt(ProcessCluster cluster, String member, long untilNs) throws Exception {
         while (!value(cluster, member, "doubt").equals("yes")) {
             assertTrue(System.nanoTime() < untilNs, member + " is not in doubt");
-            ProcessCluster.pause(20);
+            Waits.sleep(20);
         }
     }
 
@@ -89,8 +89,8 @@
         try (ProcessCluster c = cluster(Map.of("n1", 105))) {
             adopted(c, "n2", VersionTestRun.write(c, 0));
             assertEquals(202, send(c, "n1"));
-            c.befall(FaultInjection.parse(0, "isolate n1"));
-            assertTrue(c.awaitLogged(
+            c.inject(FaultInjection.parse(0, "isolate n1"));
+            assertTrue(c.awaitLastEvent(
                     "configuration.", "configuration.version_in_doubt rejects_requests=true fault=none", 1, by(10)));
             awaitDoubt(c, "n1", by(10));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
@@ -98,13 +98,13 @@
                     .isEmpty());
             while (!value(c, "n2", "acting").startsWith("2 ")
                     || !value(c, "n3", "acting").startsWith("2 ")) {
-                ProcessCluster.pause(20); // the group's own word is asked for
+                Waits.sleep(20); // the group's own word is asked for
             }
             assertEquals(202, send(c, "n2"), "the side with the majority serves");
             assertTrue(value(c, "n1", "acting").startsWith("1 ")
                     && value(c, "n1", "doubt").equals("yes"));
-            c.befall(FaultInjection.parse(0, "crash n1"));
-            c.befall(
+            c.inject(FaultInjection.parse(0, "crash n1"));
+            c.inject(
                     FaultInjection.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
             assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
             c.heal(true);
@@ -152,20 +152,20 @@
             assertFalse(VersionProposals.propose(c, "n1", mine, "a file of n1's own")
                     .isEmpty());
             while (!value(c, "n1", "ended").contains("refused: ")) {
-                ProcessCluster.pause(20);
+                Waits.sleep(20);
             }
             assertTrue(
                     value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"),
                     value(c, "n1", "ended"));
             assertEquals("1", value(c, "n2", "latest").split(" ")[0], "none has adopted it");
 
-            String back = c.member("n2").told("CONFIG ROLLBACK 0 as it was");
+            String back = c.member("n2").ask("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
             while (!value(c, "n3", "acting").startsWith("3 ")
                     || !VersionProposals.agreed(c, by(30)).equals(ConfigurationVersion.NONE.shortHash())) {
-                ProcessCluster.pause(20);
+                Waits.sleep(20);
             }
-            assertTrue(c.member("n3").told("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
+            assertTrue(c.member("n3").ask("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
         }
     }
 
@@ -181,12 +181,12 @@
             long until = by(20);
             while (other.lists() < 3) {
                 assertTrue(System.nanoTime() < until, other.lists() + " calls at the new place");
-                ProcessCluster.pause(20);
+                Waits.sleep(20);
             }
-            ProcessCluster.pause(1_500); // the last watch at the old place has been answered
-            long old = c.outside().lists();
-            ProcessCluster.pause(1_500);
-            assertEquals(old, c.outside().lists(), "nobody asks the old place");
+            Waits.sleep(1_500); // the last watch at the old place has been answered
+            long old = c.services().lists();
+            Waits.sleep(1_500);
+            assertEquals(old, c.services().lists(), "nobody asks the old place");
         }
     }
 }
