--- a/src/main/java/elderseam/testkit/faults/FaultSchedule.java
+++ b/src/main/java/elderseam/testkit/faults/FaultSchedule.java
@@ -1,22 +1,21 @@
 package elderseam.testkit.faults;
 
-import elderseam.settings.SectionFile;
-import elderseam.settings.SettingsFault;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * What a fleet test is about: its members, the terms of their leases, and the faults of its one kind of round, or none where
- * a nemesis draws them.
+ * The members of a fault test, the terms of their leases, and the faults of each round.
  *
+ * @param members how many members there are
+ * @param ttlMs how long a lease lasts without renewal
+ * @param driftPercent how far the members take each other's clocks to drift
+ * @param electionMs the lease group's election timeout
+ * @param roundMs how long a round lasts
  * @param clocks percent of true time that a member's clock shows, where it is not 100
+ * @param faults those of every round, in the order of their times; empty where a {@link Nemesis} draws them
  */
 record FaultSchedule(
         int members,
@@ -26,118 +25,79 @@
         long roundMs,
         Map<String, Integer> clocks,
         List<FaultInjection> faults) {
-    static final int MOST = 16;
+    /** The most members that a test may have. */
+    static final int MAX_MEMBERS = 16;
 
-    /** Leases under a nemesis, with one clock 5% fast. */
+    private static final int DEFAULT_MEMBERS = 3;
+    private static final long DEFAULT_TTL_MS = 1_200;
+    private static final int DEFAULT_DRIFT_PERCENT = 5;
+    private static final long DEFAULT_ELECTION_MS = 150;
+    private static final long LEASE_ROUND_MS = 2_000;
+
+    /** Outlasts a commit that waits for a member that is cut off, the leader's lease, and the bound of a version's effect. */
+    private static final long VERSION_ROUND_MS = 4_000;
+
+    /** Outlasts the suspicion of a member that is cut off: 4 s with three members. */
+    private static final long GOSSIP_ROUND_MS = 12_000;
+
+    /** One clock that runs as much too fast as the members allow for. */
+    private static final Map<String, Integer> ONE_FAST_CLOCK = Map.of("n1", 105);
+
+    private static final int SLOW_CLOCK_PERCENT = 80;
+    private static final int FAST_CLOCK_PERCENT = 120;
+
+    /** Leases under a nemesis. */
     static FaultSchedule leases() {
-        return new FaultSchedule(3, 1_200, 5, 150, 2_000, Map.of("n1", 105), List.of());
+        return withDefaultTerms(DEFAULT_MEMBERS, LEASE_ROUND_MS, ONE_FAST_CLOCK, List.of());
     }
 
-    /** Versions under a nemesis; a round outlasts a commit that waits for who is cut off, its lead, and the bound. */
+    /** Configuration versions under a nemesis. */
     static FaultSchedule versions(int members) {
-        return new FaultSchedule(members, 1_200, 5, 150, 4_000, Map.of("n1", 105), List.of());
+        return withDefaultTerms(members, VERSION_ROUND_MS, ONE_FAST_CLOCK, List.of());
     }
 
-    /** The same with so many members. */
-    FaultSchedule of(int members) {
-        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, roundMs, clocks, faults);
+    /** A lease on gossip alone, whose holder is cut off for longer than it is suspected. */
+    static FaultSchedule gossip() {
+        List<FaultInjection> faults = List.of(FaultInjection.parse(500, "isolate n1"));
+        return withDefaultTerms(DEFAULT_MEMBERS, GOSSIP_ROUND_MS, Map.of(), faults);
     }
 
-    /** The same with rounds of another length. */
-    FaultSchedule lasting(long ms) {
-        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
+    private static FaultSchedule withDefaultTerms(
+            int members, long roundMs, Map<String, Integer> clocks, List<FaultInjection> faults) {
+        return new FaultSchedule(
+                members, DEFAULT_TTL_MS, DEFAULT_DRIFT_PERCENT, DEFAULT_ELECTION_MS, roundMs, clocks, faults);
     }
 
-    /** A lease on gossip alone, and a cut for longer than its suspicions last (4 s at three members). */
-    static FaultSchedule gossip() {
-        return new FaultSchedule(3, 1_200, 5, 150, 12_000, Map.of(), List.of(FaultInjection.parse(500, "isolate n1")));
-    }
-
-    /** A file of {@code [fleet NAME]} and {@code [fault NAME]}; every fault of it is told at once. */
+    /**
+     * Reads a schedule from a scenario file.
+     *
+     * @throws elderseam.settings.SettingsFault with all that is wrong with the file
+     */
     static FaultSchedule read(Path file) throws IOException {
-        List<String> wrong = new ArrayList<>();
-        List<SectionFile.Section> all =
-                SectionFile.read(file.toString(), Files.readAllLines(file), List.of("fleet", "fault"), wrong);
-        FaultSchedule plan = leases();
-        List<FaultInjection> faults = new ArrayList<>();
-        for (SectionFile.Section s : all) {
-            SectionFile.Section known = s;
-            List<String> keys = s.kind().equals("fleet")
-                    ? List.of("members", "ttl_ms", "drift_percent", "election_ms", "round_ms", "clocks")
-                    : List.of("at_ms", "do");
-            s.values().forEach((key, values) -> {
-                if (!keys.contains(key)) {
-                    wrong.add(known.place(values.get(0), key) + "unknown key, allowed: " + String.join(", ", keys));
-                }
-            });
-            if (s.kind().equals("fleet")) {
-                plan = new FaultSchedule(
-                        (int) number(s, "members", 2, MOST, plan.members, wrong),
-                        number(s, "ttl_ms", 200, 60_000, plan.ttlMs, wrong),
-                        (int) number(s, "drift_percent", 0, 40, plan.driftPercent, wrong),
-                        number(s, "election_ms", 50, 10_000, plan.electionMs, wrong),
-                        number(s, "round_ms", 100, 60_000, plan.roundMs, wrong),
-                        clocks(s, wrong),
-                        List.of());
-            } else if (s.kind().equals("fault")) {
-                try {
-                    faults.add(FaultInjection.parse(number(s, "at_ms", 0, 60_000, 0, wrong), s.text("do", "")));
-                } catch (IllegalArgumentException e) {
-                    wrong.add(s.place() + e.getMessage());
-                }
-            }
-        }
-        if (faults.isEmpty()) {
-            wrong.add(file + ": no [fault NAME], allowed: at least one with at_ms and do");
-        }
-        if (!wrong.isEmpty()) {
-            throw new SettingsFault(wrong);
-        }
-        faults.sort(Comparator.comparingLong(FaultInjection::atMs));
-        return plan.with(faults);
+        return new FaultScheduleFile(file).read();
     }
 
-    private FaultSchedule with(List<FaultInjection> faults) {
-        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, roundMs, clocks, List.copyOf(faults));
+    /** The same with so many members. */
+    FaultSchedule withMembers(int count) {
+        return new FaultSchedule(count, ttlMs, driftPercent, electionMs, roundMs, clocks, faults);
     }
 
-    /** The same without a margin for clocks, which run 10% apart from true time both ways: the planted fault of the lease's checker. */
-    FaultSchedule withoutMargin() {
-        Map<String, Integer> bent = new LinkedHashMap<>();
-        for (int i = 1; i <= members; i++) {
-            bent.put("n" + i, i == 1 ? 80 : 120);
-        }
-        return new FaultSchedule(members, ttlMs, 0, electionMs, roundMs, bent, faults);
+    /** The same with rounds of another length. */
+    FaultSchedule withRoundMs(long ms) {
+        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, ms, clocks, faults);
     }
 
-    private static long number(
-            SectionFile.Section s, String key, long least, long most, long absent, List<String> wrong) {
-        SectionFile.Value v = s.value(key);
-        if (v == null) {
-            return absent;
-        }
-        if (!v.text().matches("\\d{1,9}") || Long.parseLong(v.text()) < least || Long.parseLong(v.text()) > most) {
-            wrong.add(s.place(v, key) + "'" + v.text() + "' can't be used, allowed: " + least + " to " + most);
-            return absent;
-        }
-        return Long.parseLong(v.text());
+    /** The same with these faults. */
+    FaultSchedule withFaults(List<FaultInjection> others) {
+        return new FaultSchedule(members, ttlMs, driftPercent, electionMs, roundMs, clocks, List.copyOf(others));
     }
 
-    private static Map<String, Integer> clocks(SectionFile.Section s, List<String> wrong) {
-        Map<String, Integer> clocks = new LinkedHashMap<>();
-        for (String word : Arrays.stream(s.text("clocks", "").split("\\s+"))
-                .filter(w -> !w.isEmpty())
-                .toList()) {
-            if (!word.matches("n\\d{1,3}=\\d{2,3}")
-                    || Integer.parseInt(word.substring(word.indexOf('=') + 1)) < 50
-                    || Integer.parseInt(word.substring(word.indexOf('=') + 1)) > 150) {
-                wrong.add(s.place(s.value("clocks"), "clocks") + "'" + word
-                        + "' can't be used, allowed: nK=PERCENT, 50 to 150");
-            } else {
-                clocks.put(
-                        word.substring(0, word.indexOf('=')), Integer.parseInt(word.substring(word.indexOf('=') + 1)));
-            }
+    /** The same without allowance for drift, and with clocks that drift both ways: a fault that the checker of leases has to find. */
+    FaultSchedule withoutDriftAllowance() {
+        Map<String, Integer> driftingClocks = new LinkedHashMap<>();
+        for (int number = 1; number <= members; number++) {
+            driftingClocks.put("n" + number, number == 1 ? SLOW_CLOCK_PERCENT : FAST_CLOCK_PERCENT);
         }
-        return clocks;
+        return new FaultSchedule(members, ttlMs, 0, electionMs, roundMs, driftingClocks, faults);
     }
 }
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -52,7 +52,7 @@
                 new FaultSchedule(3, 1_200, 5, 150, 1_000, clocks, List.of()),
                 folder.resolve("c"),
                 VersionTestRun.setup(null));
-        VersionProposals.agreed(c, by(30));
+        VersionProposals.awaitAgreement(c, by(30));
         return c;
     }
 
@@ -69,7 +69,7 @@
         String hash = VersionProposals.propose(c, at, file, "a test's");
         assertFalse(hash.isEmpty());
         long until = by(30);
-        while (!VersionProposals.agreed(c, until).equals(hash)) {
+        while (!VersionProposals.awaitAgreement(c, until).equals(hash)) {
             assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).ask("CONFIG"));
             Waits.sleep(20);
         }
@@ -87,14 +87,14 @@
     @Test
     void theSideThatIsCutOffGoesIntoDoubtAndARestartFromAnOldFolderDoesNotActOnIt() throws Exception {
         try (ProcessCluster c = cluster(Map.of("n1", 105))) {
-            adopted(c, "n2", VersionTestRun.write(c, 0));
+            adopted(c, "n2", VersionTestRun.writeVersion(c, 0));
             assertEquals(202, send(c, "n1"));
             c.inject(FaultInjection.parse(0, "isolate n1"));
             assertTrue(c.awaitLastEvent(
                     "configuration.", "configuration.version_in_doubt rejects_requests=true fault=none", 1, by(10)));
             awaitDoubt(c, "n1", by(10));
             assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
-            assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.write(c, 1), "without n1")
+            assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.writeVersion(c, 1), "without n1")
                     .isEmpty());
             while (!value(c, "n2", "acting").startsWith("2 ")
                     || !value(c, "n3", "acting").startsWith("2 ")) {
@@ -108,13 +108,15 @@
                     FaultInjection.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
             assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
             c.heal(true);
-            VersionProposals.agreed(c, by(30));
+            VersionProposals.awaitAgreement(c, by(30));
             assertTrue(value(c, "n1", "acting").startsWith("2 "));
             assertEquals(202, send(c, "n1"));
             assertEquals(
                     List.of(),
                     HistoryCheckers.read(c.histories())
-                            .agreement(VersionTestRun.BOUND_MS + VersionTestRun.CLOCK_MS, VersionTestRun.STEP_MS));
+                            .agreement(
+                                    VersionTestRun.BOUND_MS + VersionTestRun.BOUND_TOLERANCE_MS,
+                                    VersionTestRun.SWITCH_TOLERANCE_MS));
         }
         List<ConfigurationVersion> kept = new VersionStore(folder.resolve("c/n1/state/versions")).loadAll();
         assertEquals(
@@ -135,11 +137,11 @@
                             + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
             Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
             String one = VersionProposals.propose(c, "n1", few, "one");
-            String two = VersionProposals.propose(c, "n2", VersionTestRun.write(c, 7), "two");
+            String two = VersionProposals.propose(c, "n2", VersionTestRun.writeVersion(c, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
-            String won = VersionProposals.agreed(c, by(30));
+            String won = VersionProposals.awaitAgreement(c, by(30));
             while (won.equals(ConfigurationVersion.NONE.shortHash())) {
-                won = VersionProposals.agreed(c, by(30));
+                won = VersionProposals.awaitAgreement(c, by(30));
             }
             assertTrue(won.equals(one) ^ won.equals(two), "one of them");
             assertEquals("1", value(c, "n3", "latest").split(" ")[0], "and the other is not the next");
@@ -162,7 +164,7 @@
             String back = c.member("n2").ask("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
             while (!value(c, "n3", "acting").startsWith("3 ")
-                    || !VersionProposals.agreed(c, by(30)).equals(ConfigurationVersion.NONE.shortHash())) {
+                    || !VersionProposals.awaitAgreement(c, by(30)).equals(ConfigurationVersion.NONE.shortHash())) {
                 Waits.sleep(20);
             }
             assertTrue(c.member("n3").ask("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
