--- a/src/main/java/elderseam/testkit/faults/ClusterMember.java
+++ b/src/main/java/elderseam/testkit/faults/ClusterMember.java
@@ -2,12 +2,13 @@
 
 import elderseam.testkit.LogLine;
 import java.io.BufferedReader;
+import java.io.BufferedWriter;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -15,33 +16,47 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 
-/** One process of the program: started, stalled, killed and started again with its folder kept. */
+/**
+ * One process of the program: started, stalled, killed, and started again on its folder. One thread uses it; a thread of its
+ * own reads what the process logs.
+ */
 final class ClusterMember {
-    private static final long PATIENCE_S = 60;
+    private static final long READY_TIMEOUT_S = 60;
+    private static final int ANSWER_TIMEOUT_MS = 10_000;
+    private static final String LOG_FILE = "log";
+    private static final int STAT_USER_TICKS = 11; // of the words after the process's name; see proc(5)
+    private static final int STAT_SYSTEM_TICKS = 12;
 
+    /** Its name in the cluster. */
     final String name;
+
     private final Path folder;
     private final Map<String, String> variables;
-    private final Consumer<LogLine> log;
-    private Process process;
-    private volatile CompletableFuture<String> serving;
-    private volatile CompletableFuture<String> control;
+    private final Consumer<LogLine> onEvent;
+    private Process process; // null before the first start
+    private volatile CompletableFuture<String> servingAddress;
+    private volatile CompletableFuture<String> controlAddress;
     private long startedNs;
     private volatile long readyNs;
 
-    /** {@code folder} has its settings, {@code elderseam.ini}; {@code log} is given each event that the process logs. */
-    ClusterMember(String name, Path folder, Map<String, String> variables, Consumer<LogLine> log) {
+    /**
+     * Creates a member, which is not started yet.
+     *
+     * @param folder has its settings, {@link MemberSettings#FILE_NAME}; its log is written there
+     * @param variables of the process's environment
+     * @param onEvent is given each event that the process logs, on the thread that reads the log
+     */
+    ClusterMember(String name, Path folder, Map<String, String> variables, Consumer<LogLine> onEvent) {
         this.name = name;
         this.folder = folder;
         this.variables = variables;
-        this.log = log;
+        this.onEvent = onEvent;
     }
 
-    /** Starts it; {@link #ready} waits until it serves. */
+    /** Starts the process; {@link #ready} waits until it serves. */
     Process start() throws IOException {
-        ProcessBuilder b = new ProcessBuilder(
+        ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
@@ -53,66 +68,59 @@
                 System.getProperty("java.class.path"),
                 "elderseam.Main",
                 "serve",
-                folder.resolve("elderseam.ini").toString());
-        b.environment().keySet().removeIf(k -> k.startsWith("RELAY_"));
-        b.environment().putAll(variables);
-        serving = new CompletableFuture<>();
-        control = new CompletableFuture<>();
+                folder.resolve(MemberSettings.FILE_NAME).toString());
+        builder.environment().keySet().removeIf(variable -> variable.startsWith("RELAY_"));
+        builder.environment().putAll(variables);
+        CompletableFuture<String> serving = new CompletableFuture<>();
+        CompletableFuture<String> control = new CompletableFuture<>();
+        servingAddress = serving;
+        controlAddress = control;
         startedNs = System.nanoTime();
-        process = b.redirectErrorStream(true).start();
-        BufferedReader lines = process.inputReader();
-        CompletableFuture<String> serves = serving;
-        CompletableFuture<String> controls = control;
-        Thread reader = new Thread(() -> read(lines, serves, controls), "log-" + name);
+        process = builder.redirectErrorStream(true).start();
+        BufferedReader output = process.inputReader();
+        Thread reader = new Thread(() -> readLog(output, serving, control), "log-" + name);
         reader.setDaemon(true);
         reader.start();
         return process;
     }
 
-    private void read(BufferedReader lines, CompletableFuture<String> serves, CompletableFuture<String> controls) {
-        String[] at = new String[1];
-        try (Stream<String> all = lines.lines();
-                var file = Files.newBufferedWriter(
-                        folder.resolve("log"),
-                        java.nio.file.StandardOpenOption.CREATE,
-                        java.nio.file.StandardOpenOption.APPEND)) {
-            all.forEach(line -> {
-                try {
-                    file.write(line + "\n");
-                    file.flush();
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
+    private void readLog(BufferedReader output, CompletableFuture<String> serving, CompletableFuture<String> control) {
+        Path logFile = folder.resolve(LOG_FILE);
+        String listening = null;
+        try (output;
+                BufferedWriter log =
+                        Files.newBufferedWriter(logFile, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+            for (String line = output.readLine(); line != null; line = output.readLine()) {
+                log.write(line + "\n");
+                log.flush();
+                LogLine event = LogLine.parse(line).orElse(null);
+                if (event == null) {
+                    continue;
+                }
+                if (event.is("control.listening")) {
+                    control.complete(event.field("address"));
+                } else if (event.is("server.listening")) {
+                    listening = event.field("address");
+                } else if (event.is("server.ready")) {
+                    readyNs = System.nanoTime();
+                    serving.complete(listening);
                 }
-                LogLine.parse(line).ifPresent(logged -> {
-                    switch (logged.event()) {
-                        case "control.listening" -> controls.complete(logged.field("address"));
-                        case "server.listening" -> at[0] = logged.field("address");
-                        case "server.ready" -> {
-                            readyNs = System.nanoTime();
-                            serves.complete(at[0]);
-                        }
-                        default -> {
-                            // no event that a start is seen by
-                        }
-                    }
-                    log.accept(logged);
-                });
-            });
-        } catch (IOException | UncheckedIOException e) {
+                onEvent.accept(event);
+            }
+        } catch (IOException e) {
             // the process was killed
         }
-        serves.completeExceptionally(
-                new IOException(name + " ended before it was ready; its log is " + folder.resolve("log")));
+        serving.completeExceptionally(new IOException(name + " ended before it was ready; its log is " + logFile));
     }
 
-    /** Where it serves, once it says that it is ready. */
+    /** Waits until the process serves; the address where it does. */
     String ready() throws IOException {
-        return await(serving);
+        return await(servingAddress);
     }
 
-    private String await(CompletableFuture<String> said) throws IOException {
+    private String await(CompletableFuture<String> address) throws IOException {
         try {
-            return said.get(PATIENCE_S, TimeUnit.SECONDS);
+            return address.get(READY_TIMEOUT_S, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
             throw new IOException(name + ": not ready: " + e, e);
         } catch (InterruptedException e) {
@@ -123,75 +131,80 @@
 
     /** Milliseconds from its start to its readiness. */
     long startMs() {
-        return (readyNs - startedNs) / 1_000_000;
+        return (readyNs - startedNs) / Waits.NANOS_PER_MS;
     }
 
+    /** Whether the process runs; a stalled one does. */
     boolean alive() {
         return process != null && process.isAlive();
     }
 
+    /** The id of the last process that was started. */
     long pid() {
         return process.pid();
     }
 
-    /** What its second address answers to a line. */
+    /** The answer of its control address to a line. */
     String ask(String line) throws IOException {
-        String at = await(control);
-        int colon = at.lastIndexOf(':');
-        try (Socket s = new Socket(at.substring(0, colon), Integer.parseInt(at.substring(colon + 1)))) {
-            s.setSoTimeout(10_000);
-            s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        String address = await(controlAddress);
+        int colon = address.lastIndexOf(':');
+        int port = Integer.parseInt(address.substring(colon + 1));
+        try (Socket socket = new Socket(address.substring(0, colon), port)) {
+            socket.setSoTimeout(ANSWER_TIMEOUT_MS);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
 
-    /** SIGKILL; returns once the process is gone. */
+    /** Sends SIGKILL; returns once the process is gone. */
     void kill() throws IOException {
         awaitEnd(process.destroyForcibly());
     }
 
-    private static void awaitEnd(Process p) throws IOException {
+    private static void awaitEnd(Process process) throws IOException {
         try {
-            p.waitFor();
+            process.waitFor();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException(e);
         }
     }
 
-    /** SIGTERM; returns once the process has ended by itself. */
+    /** Sends SIGTERM; returns once the process has ended by itself. */
     void end() throws IOException {
         signal("TERM");
         awaitEnd(process);
     }
 
+    /** Stops the process by SIGSTOP, until {@link #resume}. */
     void stall() throws IOException {
         signal("STOP");
     }
 
+    /** Lets a stalled process go on. */
     void resume() throws IOException {
         signal("CONT");
     }
 
-    private void signal(String name) throws IOException {
-        awaitEnd(new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start());
+    private void signal(String signal) throws IOException {
+        awaitEnd(new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start());
     }
 
-    /** A figure of /proc/PID/status: VmRSS in kB, or Threads. */
-    long status(String figure) throws IOException {
+    /** A number in /proc/PID/status, such as VmRSS in kB or Threads; 0 where it is not there. */
+    long status(String key) throws IOException {
         List<String> lines = Files.readAllLines(Path.of("/proc/" + pid() + "/status"));
         return lines.stream()
-                .filter(l -> l.startsWith(figure + ":"))
-                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .filter(line -> line.startsWith(key + ":"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
                 .findFirst()
                 .orElse(0);
     }
 
-    /** Hundredths of a second of processor time that it has used. */
-    long ticks() throws IOException {
+    /** Hundredths of a second of processor time that the process has used. */
+    long processorTicks() throws IOException {
         String stat = Files.readString(Path.of("/proc/" + pid() + "/stat"));
-        String[] words =
-                stat.substring(stat.lastIndexOf(')') + 2).split(" "); // the name may hold spaces; proc(5) has the rest
-        return Long.parseLong(words[11]) + Long.parseLong(words[12]);
+        int endOfName = stat.lastIndexOf(')'); // the name may hold blanks
+        String[] words = stat.substring(endOfName + 2).split(" ");
+        return Long.parseLong(words[STAT_USER_TICKS]) + Long.parseLong(words[STAT_SYSTEM_TICKS]);
     }
 }
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -1,137 +1,79 @@
 package elderseam.testkit.faults;
 
-import elderseam.fleet.lease.LeaseGroup;
-import elderseam.fleet.lease.LeaseGroupConfiguration;
-import elderseam.fleet.lease.LeaseStateMachine;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
 import org.HdrHistogram.Histogram;
 
 /**
- * What the fleet's part costs and saves, off and on in one run: the same processes with the same stand-ins, first without
- * and then with the leases and the one watch of discovery.
+ * Measures what a fleet costs and saves, in one run: the same processes with the same stand-ins, first without and then with
+ * leases and one watch of discovery for all.
  */
 public final class FleetMeasurements {
     private static final int SPAN_S = 10;
+    private static final long LEASE_TTL_MS = 5_000;
+    private static final int DRIFT_PERCENT = 5;
+    private static final long ELECTION_MS = 500;
+    private static final long WATCH_TIMEOUT_NS = 30_000 * Waits.NANOS_PER_MS;
+    private static final long MAX_READY_MS = 600_000;
+    private static final long MAX_MEMORY_KB = 64_000_000;
+    private static final long MAX_THREADS = 10_000;
 
     private FleetMeasurements() {}
 
     /** Figures by name; times in milliseconds, memory in kB of each process, calls a second over all of them. */
     public static Map<String, Object> measure(int members, Path folder) throws IOException {
-        Map<String, Object> f = new LinkedHashMap<>();
-        FaultSchedule leases = FaultSchedule.leases();
-        FaultSchedule plan = new FaultSchedule(members, 5_000, 5, 500, leases.roundMs(), Map.of(), List.of());
-        f.put("members", members);
-        processes(f, "off", new ProcessCluster(plan, folder.resolve("off"), ClusterSetup.OFF));
-        processes(
-                f,
-                "on",
-                new ProcessCluster(
-                        plan, folder.resolve("on"), ClusterSetup.withLeases("discovery = one\n", false, true)));
-        operations(f, members, folder.resolve("group"));
-        return f;
-    }
-
-    private static void processes(Map<String, Object> f, String word, ProcessCluster cluster) throws IOException {
-        try (ProcessCluster c = cluster) {
-            if (word.equals("on")) {
-                c.awaitLastEvent(
-                        "discovery.",
-                        "discovery.watch_delegated",
-                        c.group().size() - 1,
-                        System.nanoTime() + 30_000_000_000L);
-            }
-            long lists = c.services().lists();
-            long cpu = cpu(c);
-            Waits.sleep(SPAN_S * 1_000L); // the span that is measured
-            f.put("discovery_calls_per_s_" + word, (double) (c.services().lists() - lists) / SPAN_S);
-            f.put(
-                    "idle_cpu_percent_" + word,
-                    (double) (cpu(c) - cpu) / SPAN_S / c.group().size());
-            Histogram ready = new Histogram(600_000L, 3);
-            Histogram memory = new Histogram(64_000_000L, 3);
-            Histogram threads = new Histogram(10_000L, 3);
-            for (String name : c.group()) {
-                ClusterMember m = c.member(name);
-                ready.recordValue(m.startMs());
-                memory.recordValue(m.status("VmRSS"));
-                threads.recordValue(m.status("Threads"));
-            }
-            f.put("ready_ms_" + word, ready.getValueAtPercentile(50));
-            f.put("memory_kb_" + word, memory.getValueAtPercentile(50));
-            f.put("threads_" + word, threads.getValueAtPercentile(50));
+        Map<String, Object> figures = new LinkedHashMap<>();
+        long roundMs = FaultSchedule.leases().roundMs();
+        FaultSchedule schedule =
+                new FaultSchedule(members, LEASE_TTL_MS, DRIFT_PERCENT, ELECTION_MS, roundMs, Map.of(), List.of());
+        figures.put("members", members);
+        try (ProcessCluster cluster = new ProcessCluster(schedule, folder.resolve("off"), ClusterSetup.OFF)) {
+            measureProcesses(figures, "off", cluster);
+        }
+        ClusterSetup oneWatch = ClusterSetup.withLeases("discovery = one\n", false, true);
+        try (ProcessCluster cluster = new ProcessCluster(schedule, folder.resolve("on"), oneWatch)) {
+            int delegating = cluster.group().size() - 1;
+            cluster.awaitLastEvent(
+                    "discovery.", "discovery.watch_delegated", delegating, System.nanoTime() + WATCH_TIMEOUT_NS);
+            measureProcesses(figures, "on", cluster);
         }
+        figures.putAll(LeaseOperationMeasurement.measure(members, folder.resolve("group")));
+        return figures;
     }
 
-    /** Hundredths of a second of processor time that the members have used. */
-    private static long cpu(ProcessCluster c) throws IOException {
-        long all = 0;
-        for (String name : c.group()) {
-            all += c.member(name).ticks();
+    private static void measureProcesses(Map<String, Object> figures, String suffix, ProcessCluster cluster)
+            throws IOException {
+        List<String> group = cluster.group();
+        long listsBefore = cluster.services().lists();
+        long ticksBefore = processorTicks(cluster);
+        Waits.sleep(SPAN_S * 1_000L); // the span that is measured
+        long lists = cluster.services().lists() - listsBefore;
+        figures.put("discovery_calls_per_s_" + suffix, (double) lists / SPAN_S);
+        long ticks = processorTicks(cluster) - ticksBefore;
+        figures.put("idle_cpu_percent_" + suffix, (double) ticks / SPAN_S / group.size());
+        Histogram readyMs = new Histogram(MAX_READY_MS, 3);
+        Histogram memoryKb = new Histogram(MAX_MEMORY_KB, 3);
+        Histogram threads = new Histogram(MAX_THREADS, 3);
+        for (String name : group) {
+            ClusterMember member = cluster.member(name);
+            readyMs.recordValue(member.startMs());
+            memoryKb.recordValue(member.status("VmRSS"));
+            threads.recordValue(member.status("Threads"));
         }
-        return all;
+        figures.put("ready_ms_" + suffix, readyMs.getValueAtPercentile(50));
+        figures.put("memory_kb_" + suffix, memoryKb.getValueAtPercentile(50));
+        figures.put("threads_" + suffix, threads.getValueAtPercentile(50));
     }
 
-    /** Requests for a lease, one after the other, at a group whose members share this process. */
-    private static void operations(Map<String, Object> f, int members, Path folder) throws IOException {
-        Map<String, InetSocketAddress> peers = new LinkedHashMap<>();
-        for (int i = 1; i <= members; i++) {
-            InetAddress here = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
-            try (ServerSocket free = new ServerSocket(0, 1, here)) {
-                peers.put("m" + i, new InetSocketAddress(here, free.getLocalPort()));
-            }
-        }
-        Map<String, LeaseGroup> group = new LinkedHashMap<>();
-        Histogram took = new Histogram(60_000_000L, 3); // microseconds
-        try {
-            for (String name : peers.keySet()) {
-                group.put(
-                        name,
-                        LeaseGroup.start(new LeaseGroupConfiguration(
-                                "figures",
-                                name,
-                                peers.get(name),
-                                peers,
-                                folder.resolve(name),
-                                500,
-                                "1",
-                                System::nanoTime,
-                                new LeaseStateMachine.Listener() {},
-                                LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT)));
-            }
-            LeaseGroup asking = group.values().iterator().next();
-            long began = 0;
-            for (int n = 0; n < 2_200; n++) {
-                if (n == 200) { // those before it warm up, and wait for the first leader
-                    began = System.nanoTime();
-                }
-                long sent = System.nanoTime();
-                try {
-                    asking.acquire("lease" + n % 10, 5_000).get();
-                    if (n >= 200) {
-                        took.recordValue((System.nanoTime() - sent) / 1_000);
-                    }
-                } catch (ExecutionException e) {
-                    n = Math.min(n, 199); // no leader yet: begun anew
-                }
-            }
-            f.put("lease_ops_per_s", Math.round(took.getTotalCount() / ((System.nanoTime() - began) / 1e9)));
-            f.put("lease_op_us_p50", took.getValueAtPercentile(50));
-            f.put("lease_op_us_p99", took.getValueAtPercentile(99));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException(e);
-        } finally {
-            for (LeaseGroup g : group.values()) {
-                g.close();
-            }
+    /** Hundredths of a second of processor time that the members have used. */
+    private static long processorTicks(ProcessCluster cluster) throws IOException {
+        long ticks = 0;
+        for (String name : cluster.group()) {
+            ticks += cluster.member(name).processorTicks();
         }
+        return ticks;
     }
 }
--- a/src/main/java/elderseam/testkit/faults/Nemesis.java
+++ b/src/main/java/elderseam/testkit/faults/Nemesis.java
@@ -5,38 +5,51 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
-/** Random rounds of faults from a seed: one seed and number give one round, whatever befell before it. */
+/** Draws rounds of random faults: one seed and number give one round, whatever came before it. */
 final class Nemesis {
-    private static final String[] WHO = {"holder", "holder", "leader", "other"
-    }; // the holder's troubles are the ones leases are about
+    /** Whom a fault is drawn for; the holder twice, since its faults are what leases are about. */
+    private static final String[] ROLES = {"holder", "holder", "leader", "other"};
+
+    private static final long SEED_FACTOR = 1_000_003;
+    private static final int MAX_FAULTS = 3;
+    private static final int MIN_DELAY_MS = 5;
+    private static final int DELAY_SPAN_MS = 60;
 
     private Nemesis() {}
 
-    /** Round {@code n} of {@code seed}: one to three faults, spread over {@code ttlMs}, in the order of their times. */
-    static List<FaultInjection> round(long seed, int n, long ttlMs) {
-        SplittableRandom random = new SplittableRandom(seed * 1_000_003 + n);
+    /**
+     * Draws the faults of a round.
+     *
+     * @param round the round's number
+     * @param ttlMs how long a lease lasts; the faults spread over this time
+     * @return one to three faults, in the order of their times
+     */
+    static List<FaultInjection> round(long seed, int round, long ttlMs) {
+        SplittableRandom random = new SplittableRandom(seed * SEED_FACTOR + round);
         List<FaultInjection> faults = new ArrayList<>();
-        int count = 1 + random.nextInt(3);
+        int count = 1 + random.nextInt(MAX_FAULTS);
         for (int i = 0; i < count; i++) {
-            faults.add(FaultInjection.parse(random.nextLong(ttlMs), one(random, ttlMs)));
+            long atMs = random.nextLong(ttlMs);
+            faults.add(FaultInjection.parse(atMs, draw(random, ttlMs)));
         }
         faults.sort(Comparator.comparingLong(FaultInjection::atMs));
         return faults;
     }
 
-    private static String one(SplittableRandom random, long ttlMs) {
-        String who = WHO[random.nextInt(WHO.length)];
+    /** One fault in the words of {@link FaultInjection#parse}; the order of the draws is part of what a seed stands for. */
+    private static String draw(SplittableRandom random, long ttlMs) {
+        String role = ROLES[random.nextInt(ROLES.length)];
         return switch (random.nextInt(12)) {
-            case 0, 1 -> "isolate " + who;
+            case 0, 1 -> "isolate " + role;
             case 2 -> "partition holder leader";
-            case 3 -> "partition " + who;
-            case 4 -> "mute " + who;
-            case 5 -> "deafen " + who;
-            case 6 -> "delay " + (5 + random.nextInt(60));
+            case 3 -> "partition " + role;
+            case 4 -> "mute " + role;
+            case 5 -> "deafen " + role;
+            case 6 -> "delay " + (MIN_DELAY_MS + random.nextInt(DELAY_SPAN_MS));
             case 7 -> "reset";
-            case 8, 9 -> "stall " + who + " " + (ttlMs / 4 + random.nextLong(2 * ttlMs));
-            case 10 -> "crash " + who;
-            default -> random.nextInt(4) == 0 ? "crash all" : "crash " + who;
+            case 8, 9 -> "stall " + role + " " + (ttlMs / 4 + random.nextLong(2 * ttlMs));
+            case 10 -> "crash " + role;
+            default -> random.nextInt(4) == 0 ? "crash all" : "crash " + role;
         };
     }
 }
