--- a/src/main/java/elderseam/testkit/faults/DatagramProxy.java
+++ b/src/main/java/elderseam/testkit/faults/DatagramProxy.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -21,87 +22,98 @@
  * go back the same way, so each sender has a socket of its own here; a thread a socket.
  */
 final class DatagramProxy implements Closeable {
-    private static final int LONGEST = 2_048;
+    private static final int MAX_BYTES = 2_048;
+    private static final byte[] LOOPBACK = {127, 0, 0, 1};
 
-    private final LinkTable network;
+    private final LinkTable links;
     private final String to;
     private final InetSocketAddress target;
-    private final Map<SocketAddress, String> names;
-    private final DatagramSocket front;
-    private final Map<String, DatagramSocket> backs = new ConcurrentHashMap<>();
-    private final ScheduledExecutorService late;
+    private final Map<SocketAddress, String> senders;
+    private final DatagramSocket front; // receives what others send to the party
+    private final Map<String, DatagramSocket> backs = new ConcurrentHashMap<>(); // by sender; to and from the party
+    private final ScheduledExecutorService delayed;
 
-    /** At {@code port} of 127.0.0.1, for {@code to} which listens at {@code target}; {@code names}: who sends from where. */
-    DatagramProxy(LinkTable network, String to, int port, InetSocketAddress target, Map<SocketAddress, String> names)
+    /**
+     * Receives at a port of 127.0.0.1.
+     *
+     * @param to the party's name in {@code links}
+     * @param target where the party listens
+     * @param senders the other parties' names, by the address that each sends from
+     */
+    DatagramProxy(LinkTable links, String to, int port, InetSocketAddress target, Map<SocketAddress, String> senders)
             throws IOException {
-        this.network = network;
+        this.links = links;
         this.to = to;
         this.target = target;
-        this.names = names;
-        front = new DatagramSocket(port, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
-        late = Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "late"));
-        daemon(() -> pump(front, this::arrived), "front").start();
+        this.senders = senders;
+        front = new DatagramSocket(port, InetAddress.getByAddress(LOOPBACK));
+        delayed = Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "late"));
+        daemon(() -> receiveAll(front, this::forward), "front").start();
     }
 
+    /** Where others reach the party. */
     InetSocketAddress address() {
         return (InetSocketAddress) front.getLocalSocketAddress();
     }
 
-    private interface Arrival {
-        void take(byte[] bytes, SocketAddress from) throws IOException;
+    /** What is done with a datagram that was received. */
+    private interface Receiver {
+        void receive(byte[] bytes, SocketAddress from) throws IOException;
     }
 
     private Thread daemon(Runnable run, String what) {
-        Thread t = new Thread(run, "datagrams-" + to + "-" + what);
-        t.setDaemon(true);
-        return t;
+        Thread thread = new Thread(run, "datagrams-" + to + "-" + what);
+        thread.setDaemon(true);
+        return thread;
     }
 
-    private void pump(DatagramSocket socket, Arrival arrival) {
-        DatagramPacket p = new DatagramPacket(new byte[LONGEST], LONGEST);
+    private void receiveAll(DatagramSocket socket, Receiver receiver) {
+        DatagramPacket packet = new DatagramPacket(new byte[MAX_BYTES], MAX_BYTES);
         while (!socket.isClosed()) {
             try {
-                p.setLength(LONGEST);
-                socket.receive(p);
-                arrival.take(java.util.Arrays.copyOf(p.getData(), p.getLength()), p.getSocketAddress());
+                packet.setLength(MAX_BYTES);
+                socket.receive(packet);
+                receiver.receive(Arrays.copyOf(packet.getData(), packet.getLength()), packet.getSocketAddress());
             } catch (IOException e) {
                 // closed, or an ICMP error for an earlier datagram
             }
         }
     }
 
-    private void arrived(byte[] bytes, SocketAddress from) throws IOException {
-        String sender = names.getOrDefault(from, "");
+    private void forward(byte[] bytes, SocketAddress from) throws IOException {
+        String sender = senders.getOrDefault(from, "");
         DatagramSocket back = backs.get(sender);
         if (back == null) {
-            back = new DatagramSocket(0, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
+            back = new DatagramSocket(0, InetAddress.getByAddress(LOOPBACK));
             backs.put(sender, back);
-            DatagramSocket one = back;
-            daemon(() -> pump(one, (answer, target) -> pass(to, sender, front, answer, from)), "back-" + sender)
+            DatagramSocket answers = back;
+            daemon(
+                            () -> receiveAll(answers, (answer, party) -> send(to, sender, front, answer, from)),
+                            "back-" + sender)
                     .start();
         }
-        pass(sender, to, back, bytes, target);
+        send(sender, to, back, bytes, target);
     }
 
-    private void pass(String sender, String receiver, DatagramSocket by, byte[] bytes, SocketAddress at) {
-        if (!network.datagram(sender, receiver)) {
+    private void send(String sender, String receiver, DatagramSocket socket, byte[] bytes, SocketAddress destination) {
+        if (!links.deliversDatagram(sender, receiver)) {
             return;
         }
-        ScheduledFuture<?> unused = late.schedule(
+        ScheduledFuture<?> unused = delayed.schedule(
                 () -> {
                     try {
-                        by.send(new DatagramPacket(bytes, bytes.length, at));
+                        socket.send(new DatagramPacket(bytes, bytes.length, destination));
                     } catch (IOException e) {
                         // nobody listens there just now: lost, as datagrams are
                     }
                 },
-                network.delayMs(),
+                links.delayMs(),
                 TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void close() {
-        late.shutdownNow();
+        delayed.shutdownNow();
         front.close();
         backs.values().forEach(DatagramSocket::close);
     }
--- a/src/main/java/elderseam/testkit/faults/ExternalServices.java
+++ b/src/main/java/elderseam/testkit/faults/ExternalServices.java
@@ -8,6 +8,7 @@
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -16,13 +17,23 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** All the outside of a fleet in one place: discovery, the place for notices, one partner that delivers, and a client. */
+/**
+ * Stand-ins for all that is outside of a cluster: discovery, the receiver of status notices, one partner that takes messages,
+ * and a client that sends them. Thread-safe; requests are answered on the thread of one loop.
+ */
 final class ExternalServices {
-    private static final long WATCH_NS = 1_000 * Clock.MILLISECOND_NS;
-    private static final long PATIENCE_NS = 5_000 * Clock.MILLISECOND_NS;
+    private static final long WATCH_ANSWER_NS = 1_000 * Clock.MILLISECOND_NS;
+    private static final long MESSAGE_TIMEOUT_NS = 5_000 * Clock.MILLISECOND_NS;
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final int MAX_BODY_BYTES_IN_TRANSIT = 1 << 20;
+    private static final int MAX_SERVER_CONNECTIONS = 256;
+    private static final int MAX_CLIENT_CONNECTIONS = 64;
+    private static final int MAX_RESPONSE_BYTES = 1 << 10;
+    private static final int MESSAGE_BYTES = 8;
+
+    /** The settings of every dispatcher; MEMBERS stands for the number of them. */
     private static final String SETTINGS = """
             {"discovery":"ask","replicasOfMe":MEMBERS,"flavors":["partner"],"localities":["z"],"weightKind":"nominal",
              "orgs":[{"name":"org","quotaPerS":100}],
@@ -36,103 +47,106 @@
     private final EndpointConnectionPool client;
     private final AtomicLong delivered = new AtomicLong();
     private final AtomicLong sent = new AtomicLong();
-    private final AtomicLong lists = new AtomicLong();
+    private final AtomicLong listRequests = new AtomicLong();
     private final AtomicLong failed = new AtomicLong();
     private final int members;
-    private final List<HttpServer> more = new ArrayList<>(); // the further endpoints of the first destination
-    private final AtomicLongArray calls; // at each endpoint of it
+    private final List<HttpServer> furtherEndpoints = new ArrayList<>(); // of the first destination
+    private final AtomicLongArray calls; // at each endpoint of the first destination
     private volatile boolean failing;
-    private volatile int destinations = 1; // and the list's version, less one
-
-    /** {@code members}: as the dispatchers are told; {@code endpoints}: of the first destination's partner. */
+    private volatile int destinations = 1; // the version of discovery's list is one more
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param members how many dispatchers there are, as they are told
+     * @param endpoints how many the partner of the first destination has
+     */
     ExternalServices(int members, int endpoints) throws IOException {
         XnioStartup.configure();
         this.members = members;
         this.calls = new AtomicLongArray(endpoints);
         io = new IoLoop(new Clock());
-        server = new HttpServer(
-                io,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                1 << 20,
-                256,
-                1 << 20,
-                null,
-                this::answer);
-        client = new EndpointConnectionPool(io, PATIENCE_NS, 64, 1 << 10);
+        server = startServer(this::answer);
+        client = new EndpointConnectionPool(io, MESSAGE_TIMEOUT_NS, MAX_CLIENT_CONNECTIONS, MAX_RESPONSE_BYTES);
         for (int i = 1; i < endpoints; i++) {
-            int number = i;
-            more.add(new HttpServer(
-                    io,
-                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                    1 << 20,
-                    256,
-                    1 << 20,
-                    null,
-                    (r, to) -> partner(number, to)));
+            int endpoint = i;
+            furtherEndpoints.add(startServer((request, answerer) -> answerAsPartner(endpoint, answerer)));
         }
     }
 
+    private HttpServer startServer(HttpServer.Handler handler) throws IOException {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        return new HttpServer(
+                io, anyPort, MAX_BODY_BYTES, MAX_SERVER_CONNECTIONS, MAX_BODY_BYTES_IN_TRANSIT, null, handler);
+    }
+
+    /** Where discovery, the receiver of notices and the partner's first endpoint are. */
     String address() {
+        return address(server);
+    }
+
+    private static String address(HttpServer server) {
         return "127.0.0.1:" + server.address().getPort();
     }
 
-    /** What the RELAY_CONFIG of the dispatcher with that number holds. */
+    /** The content of RELAY_CONFIG for the dispatcher with that number. */
     String config(int number) {
+        String settings = SETTINGS.replace("MEMBERS", Integer.toString(members));
         return "{\"seed\":\"" + number + "\",\"discovery\":\"" + address()
-                + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3}," + "\"known\":" + list()
-                + ",\"settings\":" + SETTINGS.replace("MEMBERS", Integer.toString(members)) + "}";
+                + "\",\"limits\":{\"sockets\":512,\"memory_mb\":192,\"disk_mb\":3}," + "\"known\":" + serverList()
+                + ",\"settings\":" + settings + "}";
     }
 
-    private String list() {
-        int now = destinations;
-        return "{\"version\":" + (now + 1) + ",\"full\":true,\"servers\":["
-                + IntStream.rangeClosed(1, now)
-                        .mapToObj(d -> host("s" + d, address(), d))
-                        .collect(Collectors.joining(","))
-                + IntStream.range(0, more.size())
-                        .mapToObj(i -> ","
-                                + host(
-                                        "s1-" + i,
-                                        "127.0.0.1:" + more.get(i).address().getPort(),
-                                        1))
-                        .collect(Collectors.joining())
-                + "]}";
+    /** What discovery answers now. */
+    private String serverList() {
+        int listed = destinations;
+        List<String> servers = new ArrayList<>();
+        for (int destination = 1; destination <= listed; destination++) {
+            servers.add(server("s" + destination, address(), destination));
+        }
+        for (int i = 0; i < furtherEndpoints.size(); i++) {
+            servers.add(server("s1-" + i, address(furtherEndpoints.get(i)), 1));
+        }
+        return "{\"version\":" + (listed + 1) + ",\"full\":true,\"servers\":[" + String.join(",", servers) + "]}";
     }
 
-    private static String host(String id, String at, int destination) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + at + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":"
-                + destination + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
+    private static String server(String id, String address, int destination) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address
+                + "\",\"zone\":\"z\",\"kind\":\"partner\",\"cell\":" + destination
+                + ",\"state\":\"SERVING\",\"weight\":100.0,\"started_ms\":0}";
     }
 
-    /** Discovery lists one destination more from now on; its number. */
-    synchronized int grow() {
+    /** Has discovery list one destination more from now on; its number. */
+    synchronized int addDestination() {
         return ++destinations;
     }
 
     /** How often discovery was asked. */
-    long lists() {
-        return lists.get();
+    long listRequests() {
+        return listRequests.get();
     }
 
-    private void answer(HttpServer.Request r, HttpServer.Answerer to) {
-        if (r.path().startsWith("/registry")) {
-            lists.incrementAndGet();
-            io.at(io.clock.now() + WATCH_NS, () -> to.answer(200, Map.of(), list()));
-        } else if (r.path().equals("/status")) {
-            to.answer(204, Map.of(), "");
+    private void answer(HttpServer.Request request, HttpServer.Answerer answerer) {
+        if (request.path().startsWith("/registry")) {
+            listRequests.incrementAndGet();
+            io.at(
+                    io.clock.now() + WATCH_ANSWER_NS,
+                    () -> answerer.answer(HttpURLConnection.HTTP_OK, Map.of(), serverList()));
+        } else if (request.path().equals("/status")) {
+            answerer.answer(HttpURLConnection.HTTP_NO_CONTENT, Map.of(), "");
         } else {
-            partner(0, to);
+            answerAsPartner(0, answerer);
         }
     }
 
-    private void partner(int endpoint, HttpServer.Answerer to) {
+    private void answerAsPartner(int endpoint, HttpServer.Answerer answerer) {
         calls.incrementAndGet(endpoint);
         if (failing) {
             failed.incrementAndGet();
-            to.answer(500, Map.of(), "");
+            answerer.answer(HttpURLConnection.HTTP_INTERNAL_ERROR, Map.of(), "");
         } else {
             delivered.incrementAndGet();
-            to.answer(200, Map.of(), "");
+            answerer.answer(HttpURLConnection.HTTP_OK, Map.of(), "");
         }
     }
 
@@ -141,12 +155,12 @@
         return IntStream.range(0, calls.length()).mapToLong(calls::get).toArray();
     }
 
-    /** The partner answers every call with an error from now on, or delivers again. */
-    void fail(boolean fails) {
-        failing = fails;
+    /** Has the partner answer every call with an error from now on, or take messages again. */
+    void setFailing(boolean failing) {
+        this.failing = failing;
     }
 
-    /** How many calls it answered with an error. */
+    /** How many calls the partner answered with an error. */
     long failed() {
         return failed.get();
     }
@@ -156,32 +170,30 @@
         return delivered.get();
     }
 
-    /** Hands one message for a destination in at a member; its answer's code, 0 where none came. */
-    CompletableFuture<Integer> send(String member, int destination) {
+    /**
+     * Sends one message for a destination to a member.
+     *
+     * @param memberAddress where the member serves
+     * @return the answer's status code, 0 where none came
+     */
+    CompletableFuture<Integer> send(String memberAddress, int destination) {
         CompletableFuture<Integer> code = new CompletableFuture<>();
-        long n = sent.incrementAndGet();
+        long number = sent.incrementAndGet();
+        Map<String, String> headers = Map.of(
+                "X-Txn", "rig" + number,
+                "X-Org", "org",
+                "X-Remaining", "3500m",
+                "X-Addressing", "dest=" + destination,
+                "Idempotency-Key", "k" + number);
+        HttpRequest request = new HttpRequest("POST", "/say", headers, new byte[MESSAGE_BYTES]);
         io.run(() -> {
-            long by = io.clock.now() + PATIENCE_NS;
+            long deadlineNs = io.clock.now() + MESSAGE_TIMEOUT_NS;
             client.send(
-                    new EndpointAddress("member", member),
-                    new HttpRequest(
-                            "POST",
-                            "/say",
-                            Map.of(
-                                    "X-Txn",
-                                    "rig" + n,
-                                    "X-Org",
-                                    "org",
-                                    "X-Remaining",
-                                    "3500m",
-                                    "X-Addressing",
-                                    "dest=" + destination,
-                                    "Idempotency-Key",
-                                    "k" + n),
-                            new byte[8]),
-                    by,
-                    by,
-                    reply -> code.complete(reply.code()));
+                    new EndpointAddress("member", memberAddress),
+                    request,
+                    deadlineNs,
+                    deadlineNs,
+                    result -> code.complete(result.code()));
         });
         return code;
     }
--- a/src/main/java/elderseam/testkit/faults/FaultInjector.java
+++ b/src/main/java/elderseam/testkit/faults/FaultInjector.java
@@ -10,7 +10,6 @@
 /** Carries out the faults of a test on a cluster's processes and links, and ends them. One thread uses it. */
 final class FaultInjector {
     private static final String NUMBER = "\\d+";
-    private static final String ALL = "all";
 
     private final ProcessCluster cluster;
     private final LinkTable links;
@@ -27,27 +26,27 @@
     void inject(FaultInjection fault) throws IOException {
         List<String> targets = targets(fault);
         history.event("fault")
-                .with("verb", fault.verb())
+                .with("verb", fault.kind().word())
                 .with("words", String.join(" ", fault.words()))
                 .with("whom", String.join(" ", targets))
                 .append();
-        switch (fault.verb()) {
-            case "isolate" -> cut(targets.get(0), true, true);
-            case "mute" -> cut(targets.get(0), true, false);
-            case "deafen" -> cut(targets.get(0), false, true);
-            case "partition" -> partition(targets);
-            case "delay" -> links.delay(number(fault));
-            case "lose" -> links.lose(number(fault));
-            case "reset" -> cluster.resetConnections();
-            case "stall" -> stall(targets.get(0), number(fault));
-            case "crash" -> {
-                for (String member : fault.words().contains(ALL) ? cluster.group() : targets) {
+        switch (fault.kind()) {
+            case ISOLATE -> cut(targets.get(0), true, true);
+            case MUTE -> cut(targets.get(0), true, false);
+            case DEAFEN -> cut(targets.get(0), false, true);
+            case PARTITION -> partition(targets);
+            case DELAY -> links.delay(number(fault));
+            case LOSE -> links.lose(number(fault));
+            case RESET -> cluster.resetConnections();
+            case STALL -> stall(targets.get(0), number(fault));
+            case CRASH -> {
+                for (String member : fault.words().contains(FaultKind.ALL) ? cluster.group() : targets) {
                     kill(member);
                 }
             }
-            case "end" -> end(targets.get(0));
-            case "restart" -> cluster.startStoppedMembers();
-            default -> { // "replace": parsing admits no other verb
+            case END -> end(targets.get(0));
+            case RESTART -> cluster.startStoppedMembers();
+            case REPLACE -> {
                 cluster.admitInPlaceOf(targets.get(0));
                 kill(targets.get(0));
             }
@@ -56,7 +55,7 @@
 
     private List<String> targets(FaultInjection fault) {
         return fault.words().stream()
-                .filter(word -> !word.matches(NUMBER) && !word.equals(ALL))
+                .filter(word -> !word.matches(NUMBER) && !word.equals(FaultKind.ALL))
                 .map(this::member)
                 .distinct()
                 .toList();
--- a/src/main/java/elderseam/testkit/faults/FaultProxy.java
+++ b/src/main/java/elderseam/testkit/faults/FaultProxy.java
@@ -12,67 +12,77 @@
 import java.util.function.Supplier;
 
 /**
- * The address at which one party is reached by all others: each connection is led on to where that party listens, as far as
- * the {@link LinkTable} lets it. Two threads a connection; a fleet of sixteen has some hundreds.
+ * The address at which one party is reached by all others: each connection is forwarded to where that party listens, as far as
+ * the {@link LinkTable} lets it. It takes two threads a connection; a fleet of sixteen has some hundreds.
  */
 final class FaultProxy implements Closeable {
-    private static final int CHUNK = 16 << 10;
+    private static final int CHUNK_BYTES = 16 << 10;
+    private static final int BACKLOG = 128;
+    private static final byte[] LOOPBACK = {127, 0, 0, 1};
 
-    private final LinkTable network;
+    private final LinkTable links;
     private final String to;
     private final InetSocketAddress target;
     private final Supplier<Map<String, Long>> pids;
     private final ServerSocket server;
-    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
-    FaultProxy(LinkTable network, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
+    /**
+     * Listens on a free port of the loopback.
+     *
+     * @param to the party's name in {@code links}
+     * @param target where the party listens
+     * @param pids the processes' ids by name, by which the sender of a connection is found
+     */
+    FaultProxy(LinkTable links, String to, InetSocketAddress target, Supplier<Map<String, Long>> pids)
             throws IOException {
-        this.network = network;
+        this.links = links;
         this.to = to;
         this.target = target;
         this.pids = pids;
-        server = new ServerSocket(0, 128, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
+        server = new ServerSocket(0, BACKLOG, InetAddress.getByAddress(LOOPBACK));
         start("accept", this::accept);
     }
 
+    /** Where others reach the party. */
     InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
     private Thread start(String what, Runnable run) {
-        Thread t = new Thread(run, "proxy-" + to + "-" + what);
-        t.setDaemon(true);
-        t.start();
-        return t;
+        Thread thread = new Thread(run, "proxy-" + to + "-" + what);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
     }
 
     private void accept() {
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
-                start("link", () -> lead(socket));
+                start("link", () -> forward(socket));
             } catch (IOException e) {
                 // closed, or a connection that was gone before it was taken
             }
         }
     }
 
-    private void lead(Socket in) {
+    private void forward(Socket in) {
         Socket out = new Socket();
-        open.add(in);
-        open.add(out);
+        openSockets.add(in);
+        openSockets.add(out);
         try {
             in.setTcpNoDelay(true);
             String from = SocketOwner.find(in.getPort(), server.getLocalPort(), pids.get());
-            network.pass(from, to); // a connection comes up only over an open link
-            network.pass(to, from);
+            links.awaitOpen(from, to); // a connection comes up only over an open link
+            links.awaitOpen(to, from);
             out.setTcpNoDelay(true);
             out.connect(target);
-            Thread back = start("back", () -> pump(out, in, to, from));
-            pump(in, out, from, to);
-            back.join(); // each way ends by itself
-            open.remove(in);
-            open.remove(out);
+            Thread back = start("back", () -> copy(out, in, to, from));
+            copy(in, out, from, to);
+            back.join(); // each direction ends by itself
+            openSockets.remove(in);
+            openSockets.remove(out);
             in.close();
             out.close();
         } catch (IOException | InterruptedException e) {
@@ -81,14 +91,14 @@
         }
     }
 
-    private void pump(Socket from, Socket to, String sender, String receiver) {
-        byte[] chunk = new byte[CHUNK];
+    private void copy(Socket from, Socket to, String sender, String receiver) {
+        byte[] chunk = new byte[CHUNK_BYTES];
         try {
-            for (int n; (n = from.getInputStream().read(chunk)) >= 0; ) {
-                network.pass(sender, receiver);
-                to.getOutputStream().write(chunk, 0, n);
+            for (int length; (length = from.getInputStream().read(chunk)) >= 0; ) {
+                links.awaitOpen(sender, receiver);
+                to.getOutputStream().write(chunk, 0, length);
             }
-            network.pass(sender, receiver); // the end of a process shows no sooner than its bytes would
+            links.awaitOpen(sender, receiver); // the end of a process shows no sooner than its bytes would
             to.shutdownOutput();
         } catch (IOException | InterruptedException e) {
             reset(from);
@@ -98,23 +108,24 @@
 
     /** Resets every connection that is open here. */
     void reset() {
-        Set.copyOf(open).forEach(this::reset);
+        Set.copyOf(openSockets).forEach(this::reset);
     }
 
-    private void reset(Socket s) {
-        open.remove(s);
+    private void reset(Socket socket) {
+        openSockets.remove(socket);
         try {
-            s.setSoLinger(true, 0);
+            socket.setSoLinger(true, 0);
         } catch (IOException e) {
             // closed already
         }
         try {
-            s.close();
+            socket.close();
         } catch (IOException e) {
             // as good as closed
         }
     }
 
+    /** Stops accepting, and resets every connection. */
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/main/java/elderseam/testkit/faults/FencedStore.java
+++ b/src/main/java/elderseam/testkit/faults/FencedStore.java
@@ -17,37 +17,52 @@
 import java.util.function.Consumer;
 
 /**
- * The stand-in resource that holders of leases act on: a line of JSON each act, admitted or fenced off by its token. One act
- * takes effect at a time, and the history has each at the instant it did.
+ * A resource that holders of leases act on, with a JSON line an act, which it admits or refuses by the act's fencing token. One
+ * act takes effect at a time, and the history has each at the instant at which it did. Thread-safe.
  */
 final class FencedStore implements Closeable {
-    /** An act as it was told: of which lease, by which token and holder, and whether it took effect. */
-    record Effect(String lease, String holder, long token, boolean admitted) {}
+    /**
+     * An act.
+     *
+     * @param holder who acted, as MEMBER/INCARNATION
+     * @param token the fencing token that it came with
+     * @param admitted whether it took effect
+     */
+    record Act(String lease, String holder, long token, boolean admitted) {}
+
+    private static final int BACKLOG = 128;
+    private static final byte[] LOOPBACK = {127, 0, 0, 1};
 
     private final ObjectMapper json = new ObjectMapper();
     private final FencingTokenCheck fence = new FencingTokenCheck();
     private final FaultTestHistory history;
     private final boolean fenced;
-    private final Consumer<Effect> watch;
+    private final Consumer<Act> onAct;
     private final ServerSocket server;
 
-    /** {@code fenced} false: the planted fault, which admits whatever comes. */
-    FencedStore(FaultTestHistory history, boolean fenced, Consumer<Effect> watch) throws IOException {
+    /**
+     * Listens on a free port of the loopback.
+     *
+     * @param fenced whether acts with an older token are refused; false is a planted fault
+     * @param onAct is given each act once it is decided, on a connection's thread
+     */
+    FencedStore(FaultTestHistory history, boolean fenced, Consumer<Act> onAct) throws IOException {
         this.history = history;
         this.fenced = fenced;
-        this.watch = watch;
-        server = new ServerSocket(0, 128, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
+        this.onAct = onAct;
+        server = new ServerSocket(0, BACKLOG, InetAddress.getByAddress(LOOPBACK));
         start(this::accept);
     }
 
+    /** Where it listens. */
     InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
     private static void start(Runnable run) {
-        Thread t = new Thread(run, "store");
-        t.setDaemon(true);
-        t.start();
+        Thread thread = new Thread(run, "store");
+        thread.setDaemon(true);
+        thread.start();
     }
 
     private void accept() {
@@ -66,34 +81,32 @@
                 BufferedReader lines =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line; (line = lines.readLine()) != null; ) {
-                boolean admitted = act(json.readTree(line));
-                socket.getOutputStream()
-                        .write((json.writeValueAsString(Map.of("admitted", admitted)) + "\n")
-                                .getBytes(StandardCharsets.UTF_8));
+                boolean admitted = decide(json.readTree(line));
+                String answer = json.writeValueAsString(Map.of("admitted", admitted)) + "\n";
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
             }
         } catch (IOException e) {
-            // the caller has gone; what it told has taken effect or not, as the history says
+            // the client is gone; its act has taken effect or not, as the history says
         }
     }
 
-    private synchronized boolean act(JsonNode told) {
-        Effect e = new Effect(
-                told.get("lease").asText(),
-                told.get("holder").asText(),
-                told.get("token").asLong(),
-                true);
-        boolean admitted = fence.admit(e.lease(), e.token()) || !fenced;
+    private synchronized boolean decide(JsonNode request) {
+        String lease = request.get("lease").asText();
+        String holder = request.get("holder").asText();
+        long token = request.get("token").asLong();
+        boolean admitted = fence.admit(lease, token) || !fenced;
         history.event("effect")
-                .with("lease", e.lease())
-                .with("holder", e.holder())
-                .with("token", e.token())
-                .with("n", told.get("n").asLong())
+                .with("lease", lease)
+                .with("holder", holder)
+                .with("token", token)
+                .with("n", request.get("n").asLong())
                 .with("admitted", admitted)
                 .append();
-        watch.accept(new Effect(e.lease(), e.holder(), e.token(), admitted));
+        onAct.accept(new Act(lease, holder, token, admitted));
         return admitted;
     }
 
+    /** Stops accepting connections. */
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
+++ b/src/main/java/elderseam/testkit/faults/FleetMeasurements.java
@@ -47,10 +47,10 @@
     private static void measureProcesses(Map<String, Object> figures, String suffix, ProcessCluster cluster)
             throws IOException {
         List<String> group = cluster.group();
-        long listsBefore = cluster.services().lists();
+        long listsBefore = cluster.services().listRequests();
         long ticksBefore = processorTicks(cluster);
         Waits.sleep(SPAN_S * 1_000L); // the span that is measured
-        long lists = cluster.services().lists() - listsBefore;
+        long lists = cluster.services().listRequests() - listsBefore;
         figures.put("discovery_calls_per_s_" + suffix, (double) lists / SPAN_S);
         long ticks = processorTicks(cluster) - ticksBefore;
         figures.put("idle_cpu_percent_" + suffix, (double) ticks / SPAN_S / group.size());
--- a/src/main/java/elderseam/testkit/faults/GossipAddresses.java
+++ b/src/main/java/elderseam/testkit/faults/GossipAddresses.java
@@ -12,77 +12,83 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
-/** Where a cluster's members gossip: each one's key, its line of the roster, and what stands before it for connections and datagrams. */
+/** Where a cluster's members gossip: each one's key, its line of the roster, and the proxies for its connections and datagrams. */
 final class GossipAddresses implements Closeable {
-    private static final int PORT = 9_500;
+    private static final int FIRST_PORT = 9_500;
+    private static final String ROSTER_FILE = "roster";
+    private static final String KEY_FILE = "key";
+    private static final String ADMITTED_ADDRESSES = "127.0.0.0/8";
 
-    private record Place(int number, String line, FaultProxy connections, DatagramProxy datagrams) {}
+    private record Endpoint(int number, String rosterLine, FaultProxy connections, DatagramProxy datagrams) {}
 
-    private final LinkTable network;
+    private final LinkTable links;
     private final Path folder;
-    private final String place;
+    private final String loopback;
     private final Supplier<Map<String, Long>> pids;
-    private final Map<String, Place> places = new LinkedHashMap<>();
-    private final Map<SocketAddress, String> speakers =
-            new ConcurrentHashMap<>(); // of datagrams: where each speaks from
+    private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    private final Map<SocketAddress, String> senders =
+            new ConcurrentHashMap<>(); // members, by the address that their datagrams come from
 
-    /** {@code folder}: the cluster's; {@code place}: the loopback address on which members listen. */
-    GossipAddresses(LinkTable network, Path folder, String place, Supplier<Map<String, Long>> pids) {
-        this.network = network;
+    /** {@code folder}: the cluster's; {@code loopback}: the loopback address on which members listen. */
+    GossipAddresses(LinkTable links, Path folder, String loopback, Supplier<Map<String, Long>> pids) {
+        this.links = links;
         this.folder = folder;
-        this.place = place;
+        this.loopback = loopback;
         this.pids = pids;
     }
 
+    /** Creates a member's key and its proxies; its folder exists. */
     void add(String name, int number) throws IOException {
-        InetSocketAddress at = new InetSocketAddress(place, PORT + number);
-        FaultProxy connections = new FaultProxy(network, name, at, pids);
-        speakers.put(at, name);
-        places.put(
+        InetSocketAddress listen = new InetSocketAddress(loopback, FIRST_PORT + number);
+        FaultProxy connections = new FaultProxy(links, name, listen, pids);
+        senders.put(listen, name);
+        endpoints.put(
                 name,
-                new Place(
+                new Endpoint(
                         number,
-                        name + " 127.0.0.0/8 "
-                                + KeyFile.create(folder.resolve(name).resolve("key"))
+                        name + " " + ADMITTED_ADDRESSES + " "
+                                + KeyFile.create(folder.resolve(name).resolve(KEY_FILE))
                                         .publicKeyText(),
                         connections,
-                        new DatagramProxy(network, name, connections.address().getPort(), at, speakers)));
+                        new DatagramProxy(links, name, connections.address().getPort(), listen, senders)));
     }
 
-    /** The roster of all, once all are there. */
-    void roster() throws IOException {
+    /** Writes the roster, once all members are added. */
+    void writeRoster() throws IOException {
         Files.write(
-                folder.resolve("roster"),
-                places.values().stream().map(Place::line).toList());
+                folder.resolve(ROSTER_FILE),
+                endpoints.values().stream().map(Endpoint::rosterLine).toList());
     }
 
-    private static String address(Place p) {
-        return "127.0.0.1:" + p.connections.address().getPort();
+    private static String address(Endpoint endpoint) {
+        return "127.0.0.1:" + endpoint.connections.address().getPort();
     }
 
-    /** A member's [gossip], its end included. */
+    /** A member's [gossip] section, its last line's end included. */
     String settings(String name) {
-        Place own = places.get(name);
+        Endpoint own = endpoints.get(name);
         String seeds = String.join(
                 " ",
-                places.values().stream()
-                        .filter(p -> !p.equals(own))
+                endpoints.values().stream()
+                        .filter(endpoint -> !endpoint.equals(own))
                         .map(GossipAddresses::address)
                         .toList());
-        return "[gossip]\nlisten = " + place + ":" + (PORT + own.number) + "\nadvertise = " + address(own) + "\nname = "
-                + name + "\nkey_file = " + folder.resolve(name).resolve("key") + "\nroster = "
-                + folder.resolve("roster") + "\nseeds = " + seeds + "\n";
+        return "[gossip]\nlisten = " + loopback + ":" + (FIRST_PORT + own.number) + "\nadvertise = " + address(own)
+                + "\nname = "
+                + name + "\nkey_file = " + folder.resolve(name).resolve(KEY_FILE) + "\nroster = "
+                + folder.resolve(ROSTER_FILE) + "\nseeds = " + seeds + "\n";
     }
 
+    /** Resets every connection between members. */
     void reset() {
-        places.values().forEach(p -> p.connections.reset());
+        endpoints.values().forEach(endpoint -> endpoint.connections.reset());
     }
 
     @Override
     public void close() throws IOException {
-        for (Place p : places.values()) {
-            p.connections.close();
-            p.datagrams.close();
+        for (Endpoint endpoint : endpoints.values()) {
+            endpoint.connections.close();
+            endpoint.datagrams.close();
         }
     }
 }
--- a/src/main/java/elderseam/testkit/faults/ProcessCluster.java
+++ b/src/main/java/elderseam/testkit/faults/ProcessCluster.java
@@ -96,7 +96,7 @@
         }
         group.addAll(members.keySet());
         if (setup.gossips()) {
-            gossip.roster();
+            gossip.writeRoster();
         }
         for (ClusterMember member : members.values()) {
             writeSettings(member);
--- a/src/main/java/elderseam/testkit/faults/StoreActs.java
+++ b/src/main/java/elderseam/testkit/faults/StoreActs.java
@@ -4,11 +4,11 @@
 
 /** The last act that took effect on the store of a cluster. Any thread may use it. */
 final class StoreActs {
-    private FencedStore.Effect latest; // guarded by this; null before the first
+    private FencedStore.Act latest; // guarded by this; null before the first
     private volatile String holder = "";
 
     /** Takes an act as the store has decided on it. */
-    synchronized void add(FencedStore.Effect act) {
+    synchronized void add(FencedStore.Act act) {
         if (act.admitted()) {
             latest = act;
             holder = act.holder().substring(0, act.holder().indexOf('/')); // MEMBER/INCARNATION
@@ -24,7 +24,7 @@
     /** Waits until an act takes effect that comes after this call; false where none does by {@code deadlineNs}. */
     @SuppressWarnings("ReferenceEquality") // two acts may be equal, and are two all the same
     synchronized boolean awaitNext(long deadlineNs) throws IOException {
-        FencedStore.Effect before = latest;
+        FencedStore.Act before = latest;
         while (latest == before) {
             if (!Waits.awaitNotify(this, deadlineNs)) {
                 return false;
--- a/src/test/java/elderseam/testkit/faults/GossipOnlyLeaseTest.java
+++ b/src/test/java/elderseam/testkit/faults/GossipOnlyLeaseTest.java
@@ -22,17 +22,22 @@
 /** Why leases stand on a replicated log: decided by gossip alone, two processes hold one at once as soon as a link is cut. */
 @ResourceLock("rig two") // each class starts some processes: two classes at a time
 class GossipOnlyLeaseTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final int MAX_BYTES = 16;
+    private static final int ARRIVAL_TIMEOUT_MS = 5_000;
+    private static final int ABSENCE_TIMEOUT_MS = 200;
+
     @TempDir
     Path folder;
 
     @Test
     void aLeaseOnGossipAloneHasTwoHoldersUnderAPartition() throws Exception {
         LeaseTestRun.Terms terms = new LeaseTestRun.Terms("leases", 1, 1, "gossip", folder);
-        LeaseTestRun.Result r = LeaseTestRun.run(terms, System.out::println);
-        assertEquals(1, r.violations().size(), r.violations()::toString);
+        LeaseTestRun.Result result = LeaseTestRun.run(terms, System.out::println);
+        assertEquals(1, result.violations().size(), result.violations()::toString);
         assertTrue(
-                r.violations().get(0).matches("lease safety: n2/.* held gossip .* before n1/.* had stopped"),
-                r.violations()::toString);
+                result.violations().get(0).matches("lease safety: n2/.* held gossip .* before n1/.* had stopped"),
+                result.violations()::toString);
     }
 
     @Test
@@ -45,51 +50,57 @@
 
     @Test
     void datagramsOnACutLinkAreLostAndAnswersGoBackTheSameWay() throws Exception {
-        LinkTable network = new LinkTable();
-        InetAddress here = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
-        int port;
-        try (DatagramSocket free = new DatagramSocket(0, here)) {
-            port = free.getLocalPort();
-        }
-        try (DatagramSocket a = new DatagramSocket(0, here);
-                DatagramSocket b = new DatagramSocket(0, here)) {
-            a.setSoTimeout(200);
-            b.setSoTimeout(5_000);
-            try (DatagramProxy proxy = new DatagramProxy(
-                    network,
-                    "b",
-                    port,
-                    (InetSocketAddress) b.getLocalSocketAddress(),
-                    Map.of(a.getLocalSocketAddress(), "a"))) {
-                InetSocketAddress there = proxy.address();
-                network.cut("a", "b");
-                send(a, "lost", there);
-                while (network.lost() == 0) {
-                    Thread.onSpinWait();
-                }
-                network.heal();
-                send(a, "kept", there);
-                DatagramPacket p = new DatagramPacket(new byte[16], 16);
-                b.receive(p);
-                assertEquals(
-                        "kept",
-                        new String(p.getData(), 0, p.getLength(), StandardCharsets.US_ASCII),
-                        "what was sent over a cut link does not come later");
-                network.cut("b", "a");
-                send(b, "no", (InetSocketAddress) p.getSocketAddress());
-                assertThrows(SocketTimeoutException.class, () -> a.receive(new DatagramPacket(new byte[16], 16)));
-                network.heal();
-                a.setSoTimeout(5_000);
-                send(b, "yes", (InetSocketAddress) p.getSocketAddress());
-                a.receive(p);
-                assertEquals(there, p.getSocketAddress(), "it seems to come from where it was sent to");
-                network.lose(100);
-                assertFalse(network.datagram("a", "b"));
+        LinkTable links = new LinkTable();
+        try (DatagramSocket a = new DatagramSocket(0, LOOPBACK);
+                DatagramSocket b = new DatagramSocket(0, LOOPBACK);
+                DatagramProxy proxy = new DatagramProxy(
+                        links,
+                        "b",
+                        freePort(),
+                        (InetSocketAddress) b.getLocalSocketAddress(),
+                        Map.of(a.getLocalSocketAddress(), "a"))) {
+            b.setSoTimeout(ARRIVAL_TIMEOUT_MS);
+            links.cut("a", "b");
+            send(a, "lost", proxy.address());
+            while (links.lostDatagrams() == 0) {
+                Thread.onSpinWait();
             }
+            links.heal();
+            send(a, "kept", proxy.address());
+            DatagramPacket received = receive(b);
+            assertEquals("kept", text(received), "what was sent over a cut link does not come later");
+
+            InetSocketAddress sender = (InetSocketAddress) received.getSocketAddress();
+            links.cut("b", "a");
+            send(b, "no", sender);
+            a.setSoTimeout(ABSENCE_TIMEOUT_MS);
+            assertThrows(SocketTimeoutException.class, () -> receive(a));
+            links.heal();
+            a.setSoTimeout(ARRIVAL_TIMEOUT_MS);
+            send(b, "yes", sender);
+            assertEquals(proxy.address(), receive(a).getSocketAddress(), "it seems to come from where it was sent to");
+            links.lose(100);
+            assertFalse(links.deliversDatagram("a", "b"));
+        }
+    }
+
+    private static int freePort() throws Exception {
+        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
+            return free.getLocalPort();
         }
     }
 
-    private static void send(DatagramSocket by, String text, InetSocketAddress to) throws Exception {
-        by.send(new DatagramPacket(text.getBytes(StandardCharsets.US_ASCII), text.length(), to));
+    private static void send(DatagramSocket socket, String text, InetSocketAddress to) throws Exception {
+        socket.send(new DatagramPacket(text.getBytes(StandardCharsets.US_ASCII), text.length(), to));
+    }
+
+    private static DatagramPacket receive(DatagramSocket socket) throws Exception {
+        DatagramPacket packet = new DatagramPacket(new byte[MAX_BYTES], MAX_BYTES);
+        socket.receive(packet);
+        return packet;
+    }
+
+    private static String text(DatagramPacket packet) {
+        return new String(packet.getData(), 0, packet.getLength(), StandardCharsets.US_ASCII);
     }
 }
--- a/src/test/java/elderseam/testkit/faults/HistoryCheckersTest.java
+++ b/src/test/java/elderseam/testkit/faults/HistoryCheckersTest.java
@@ -1,6 +1,7 @@
 package elderseam.testkit.faults;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The checkers on histories by hand, each with the least that breaks it, and what a scenario file may hold. */
+/** The checkers, on histories written by hand, each with the least that breaks a rule; and the reading of scenario files. */
 class HistoryCheckersTest {
     private final List<JsonNode> lines = new ArrayList<>();
 
@@ -106,11 +107,10 @@
         Path file = Files.writeString(
                 folder.resolve("s"),
                 "[fleet x]\nmembers = 99\n[fault a]\nat_ms = 5\ndo = stall holder\n[fault b]\ndo = explode\nwhen = 7\n");
-        SettingsFault e =
-                org.junit.jupiter.api.Assertions.assertThrows(SettingsFault.class, () -> FaultSchedule.read(file));
-        assertEquals(5, e.faults().size(), e.faults()::toString);
+        SettingsFault fault = assertThrows(SettingsFault.class, () -> FaultSchedule.read(file));
+        assertEquals(5, fault.faults().size(), fault.faults()::toString);
         assertTrue(
-                e.faults().get(0).contains(":2:11: fleet.x.members: '99' can't be used, allowed: 2 to 16"),
-                e.faults()::toString);
+                fault.faults().get(0).contains(":2:11: fleet.x.members: '99' can't be used, allowed: 2 to 16"),
+                fault.faults()::toString);
     }
 }
--- a/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
@@ -25,9 +25,9 @@
     }
 
     private static long callsIn(ProcessCluster c, int seconds) throws Exception {
-        long before = c.services().lists();
+        long before = c.services().listRequests();
         Waits.sleep(seconds * 1_000L); // the span that is measured
-        return c.services().lists() - before;
+        return c.services().listRequests() - before;
     }
 
     /** A new destination's message is taken by each member, once the list that has it has come there. */
@@ -54,7 +54,7 @@
                     "two members leave the watch to the third");
             long one = callsIn(c, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
-            allLearnOf(c, c.services().grow());
+            allLearnOf(c, c.services().addDestination());
             String watcher = c.group().stream()
                     .filter(g -> !c.membersWithLastEvent("discovery.", "discovery.watch_delegated")
                             .contains(g))
@@ -65,7 +65,7 @@
                     c.awaitLastEvent("discovery.", "discovery.watch_started", 1, by(30)),
                     "one of the others takes the watch over");
             c.heal(true);
-            allLearnOf(c, c.services().grow());
+            allLearnOf(c, c.services().addDestination());
             assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
         }
     }
--- a/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
@@ -26,12 +26,12 @@
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
-        c.services().fail(true);
+        c.services().setFailing(true);
         feed(c, at, 5_000); // the breakers open, and the lease is taken
         long before = c.services().failed();
         feed(c, at, 12_000);
         long calls = c.services().failed() - before;
-        c.services().fail(false);
+        c.services().setFailing(false);
         long delivered = c.services().delivered();
         long by = System.nanoTime() + 20_000_000_000L;
         while (c.services().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
--- a/src/test/java/elderseam/testkit/faults/NemesisTest.java
+++ b/src/test/java/elderseam/testkit/faults/NemesisTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.ResourceLock;
@@ -17,19 +18,21 @@
 
     @Test
     void twentyRoundsWithoutAViolation() throws Exception {
-        LeaseTestRun.Result r =
+        LeaseTestRun.Result result =
                 LeaseTestRun.run(new LeaseTestRun.Terms("leases", 20, 11, null, folder), System.out::println);
-        assertEquals(List.of(), r.violations());
-        assertTrue(((Number) r.figures().get("takeovers")).longValue() > 0, "some holder was killed: " + r.figures());
+        assertEquals(List.of(), result.violations());
+        assertTrue(
+                ((Number) result.figures().get("takeovers")).longValue() > 0,
+                "some holder was killed: " + result.figures());
     }
 
-    /** The planted faults on real processes: a store that fences nothing off, and links that stay cut. */
+    /** A planted fault on real processes: a store that refuses nothing. */
     @Test
     void aStoreWithoutAFenceIsFoundOut() throws Exception {
         LeaseTestRun.Terms terms = new LeaseTestRun.Terms("leases", 5, 1, "no-fence", folder);
         List<FaultInjection> stall = List.of(FaultInjection.parse(300, "stall holder 6000"));
-        FaultSchedule plan = new FaultSchedule(3, 1_200, 5, 150, 6_500, java.util.Map.of(), stall);
+        FaultSchedule plan = new FaultSchedule(3, 1_200, 5, 150, 6_500, Map.of(), stall);
         assertTrue(LeaseTestRun.run(plan, terms, System.out::println).violations().stream()
-                .anyMatch(v -> v.startsWith("fencing: ")));
+                .anyMatch(violation -> violation.startsWith("fencing: ")));
     }
 }
--- a/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
+++ b/src/test/java/elderseam/testkit/faults/PartitionProcessTest.java
@@ -95,12 +95,12 @@
         for (String name : c.group()) {
             at.add(c.member(name).ready());
         }
-        c.services().fail(true);
+        c.services().setFailing(true);
         LeasedRecoveryProbeTest.feed(c, at, 4_000);
         long before = c.services().failed();
         LeasedRecoveryProbeTest.feed(c, at, 8_000);
         long calls = c.services().failed() - before;
-        c.services().fail(false);
+        c.services().setFailing(false);
         long delivered = c.services().delivered();
         long until = by(20);
         while (c.services().delivered() < delivered + 40) { // more than one member could deliver in the time alone
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -181,14 +181,14 @@
                     "[discovery]\naddress = " + other.address() + "\n");
             adopted(c, "n3", file);
             long until = by(20);
-            while (other.lists() < 3) {
-                assertTrue(System.nanoTime() < until, other.lists() + " calls at the new place");
+            while (other.listRequests() < 3) {
+                assertTrue(System.nanoTime() < until, other.listRequests() + " calls at the new place");
                 Waits.sleep(20);
             }
             Waits.sleep(1_500); // the last watch at the old place has been answered
-            long old = c.services().lists();
+            long old = c.services().listRequests();
             Waits.sleep(1_500);
-            assertEquals(old, c.services().lists(), "nobody asks the old place");
+            assertEquals(old, c.services().listRequests(), "nobody asks the old place");
         }
     }
 }
