--- a/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/LeaseTestRun.java
@@ -20,8 +20,6 @@
     /** The scenario of configuration versions under a nemesis. */
     public static final String VERSIONS = "versions";
 
-    static final long NANOS_PER_SECOND = 1_000_000_000;
-
     private static final String LEASES = "leases";
 
     /** How long after a heal the first act may come: two terms, some elections, and a loaded machine's delays. */
@@ -207,7 +205,7 @@
         figures.put("rounds", terms.rounds());
         figures.put("seed", terms.seed());
         figures.put("plant", terms.plant() == null ? "" : terms.plant());
-        figures.put("seconds", (System.nanoTime() - beganNs) / NANOS_PER_SECOND);
+        figures.put("seconds", (System.nanoTime() - beganNs) / Waits.NANOS_PER_SECOND);
         figures.put("faults", checkers.count("fault"));
         figures.put("requests", checkers.count("invoke"));
         figures.put("granted", checkers.count("granted"));
--- a/src/main/java/elderseam/testkit/faults/VersionTestRun.java
+++ b/src/main/java/elderseam/testkit/faults/VersionTestRun.java
@@ -139,7 +139,7 @@
         figures.put("seed", terms.seed());
         figures.put("plant", terms.plant() == null ? "" : terms.plant());
         figures.put("members", schedule.members());
-        figures.put("seconds", (System.nanoTime() - beganNs) / LeaseTestRun.NANOS_PER_SECOND);
+        figures.put("seconds", (System.nanoTime() - beganNs) / Waits.NANOS_PER_SECOND);
         figures.put("faults", checkers.count("fault"));
         figures.put("proposals_not_committed", notCommitted);
         figures.put("bound_ms", BOUND_MS);
--- a/src/main/java/elderseam/testkit/faults/Waits.java
+++ b/src/main/java/elderseam/testkit/faults/Waits.java
@@ -5,9 +5,15 @@
 /** Bounded waits of a fault test; an interrupt ends each with an IOException, and stays set on the thread. */
 final class Waits {
     static final long NANOS_PER_MS = 1_000_000;
+    static final long NANOS_PER_SECOND = 1_000_000_000;
 
     private Waits() {}
 
+    /** The instant so many seconds from now, of System.nanoTime(). */
+    static long deadlineInSeconds(long seconds) {
+        return System.nanoTime() + seconds * NANOS_PER_SECOND;
+    }
+
     /** Sleeps so many milliseconds; not at all where they are negative. */
     static void sleep(long ms) throws IOException {
         try {
--- a/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeaseFaultCasesTest.java
@@ -22,22 +22,22 @@
 
     private static FaultSchedule plan(long roundMs, String... faults) {
         List<FaultInjection> all = new ArrayList<>();
-        for (String f : faults) {
+        for (String fault : faults) {
             all.add(FaultInjection.parse(
-                    Long.parseLong(f.substring(0, f.indexOf(' '))), f.substring(f.indexOf(' ') + 1)));
+                    Long.parseLong(fault.substring(0, fault.indexOf(' '))), fault.substring(fault.indexOf(' ') + 1)));
         }
         return new FaultSchedule(3, 1_200, 5, 150, roundMs, Map.of("n1", 105), all);
     }
 
     private LeaseTestRun.Result play(int rounds, long roundMs, String... faults) throws Exception {
-        LeaseTestRun.Result r = LeaseTestRun.run(
+        LeaseTestRun.Result result = LeaseTestRun.run(
                 plan(roundMs, faults), new LeaseTestRun.Terms("leases", rounds, 1, null, folder), System.out::println);
-        assertEquals(List.of(), r.violations());
-        return r;
+        assertEquals(List.of(), result.violations());
+        return result;
     }
 
-    private static long figure(LeaseTestRun.Result r, String name) {
-        return ((Number) r.figures().get(name)).longValue();
+    private static long figure(LeaseTestRun.Result result, String name) {
+        return ((Number) result.figures().get(name)).longValue();
     }
 
     @Test
@@ -76,10 +76,12 @@
     void aHolderThatIsToldToEndGivesItsLeaseBack() throws Exception {
         FaultSchedule slow =
                 new FaultSchedule(3, 12_000, 5, 150, 100, Map.of(), List.of(FaultInjection.parse(0, "end holder")));
-        LeaseTestRun.Result r =
+        LeaseTestRun.Result result =
                 LeaseTestRun.run(slow, new LeaseTestRun.Terms("leases", 1, 1, null, folder), System.out::println);
-        assertEquals(List.of(), r.violations());
-        assertTrue(figure(r, "takeovers") == 1 && figure(r, "takeover_ms_p50") < 4_000, r.figures()::toString);
+        assertEquals(List.of(), result.violations());
+        assertTrue(
+                figure(result, "takeovers") == 1 && figure(result, "takeover_ms_p50") < 4_000,
+                result.figures()::toString);
     }
 
     /** Sends a message and waits until the partner has it, so that the quota of messages held is never reached. */
@@ -97,25 +99,25 @@
     /** No lease without a majority; messages are served all the same. */
     @Test
     void withoutAMajorityNothingIsGrantedAndMessagesAreServed() throws Exception {
-        try (ProcessCluster c = new ProcessCluster(plan(1_000), folder, ClusterSetup.DEFAULT)) {
-            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L));
-            c.inject(FaultInjection.parse(0, "crash n2"));
-            c.inject(FaultInjection.parse(0, "crash n3"));
+        try (ProcessCluster cluster = new ProcessCluster(plan(1_000), folder, ClusterSetup.DEFAULT)) {
+            assertTrue(cluster.awaitAct(Waits.deadlineInSeconds(20)));
+            cluster.inject(FaultInjection.parse(0, "crash n2"));
+            cluster.inject(FaultInjection.parse(0, "crash n3"));
             Waits.sleep(1_500); // the longest that a lease which is held can last, and more
-            long granted = HistoryCheckers.read(c.histories()).count("granted");
+            long granted = HistoryCheckers.read(cluster.histories()).count("granted");
             long until = System.nanoTime() + 2_500_000_000L;
             while (System.nanoTime() < until) {
-                sendAndAwaitDelivery(c, "n1");
+                sendAndAwaitDelivery(cluster, "n1");
             }
             assertEquals(
                     granted,
-                    HistoryCheckers.read(c.histories()).count("granted"),
+                    HistoryCheckers.read(cluster.histories()).count("granted"),
                     "nothing was granted without a majority");
-            assertTrue(c.member("n1").ask("FLEET").contains("=not held"));
-            assertTrue(c.services().delivered() > 0);
-            c.heal(true);
-            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L), "held again after the others are back");
-            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
+            assertTrue(cluster.member("n1").ask("FLEET").contains("=not held"));
+            assertTrue(cluster.services().delivered() > 0);
+            cluster.heal(true);
+            assertTrue(cluster.awaitAct(Waits.deadlineInSeconds(20)), "held again after the others are back");
+            assertEquals(List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
         }
     }
 }
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -32,10 +32,6 @@
     @TempDir
     Path folder;
 
-    private static long by(long seconds) {
-        return System.nanoTime() + seconds * 1_000_000_000L;
-    }
-
     private ClusterSetup setup(StandInAuthority authority, int port, Path key) {
         return new ClusterSetup(
                 true,
@@ -49,9 +45,10 @@
                 ClusterSetup.GossipLease.NO_GOSSIP);
     }
 
-    private static String holder(ProcessCluster c) throws IOException {
-        for (String name : c.group()) {
-            if (c.member(name).alive() && c.member(name).ask("FLEET").contains("lease.certificate:localhost=held")) {
+    private static String holder(ProcessCluster cluster) throws IOException {
+        for (String name : cluster.group()) {
+            if (cluster.member(name).alive()
+                    && cluster.member(name).ask("FLEET").contains("lease.certificate:localhost=held")) {
                 return name;
             }
         }
@@ -68,9 +65,8 @@
     }
 
     /** Waits until all serve one chain that is another than {@code before}. */
-    private String one(ProcessCluster c, String before, long byNs) throws Exception {
-        List<String> living =
-                c.group().stream().filter(g -> c.member(g).alive()).toList();
+    private String one(ProcessCluster cluster, String before, long byNs) throws Exception {
+        List<String> living = cluster.livingMembers();
         Set<String> now = chains(living);
         while (now.size() != 1 || now.contains("") || now.contains(before)) {
             assertTrue(System.nanoTime() < byNs, "no one chain on all: " + now.size());
@@ -91,22 +87,22 @@
                 Duration.ofSeconds(120)); // renewed from 10 s on, and by everybody for itself only 55 s later
         Path key = folder.resolve("seal");
         SecretSealer.createKeyFile(key, new SecureRandom());
-        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
-            String first = one(c, "", by(60));
+        try (ProcessCluster cluster = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
+            String first = one(cluster, "", Waits.deadlineInSeconds(60));
             assertEquals(1, authority.ordered(), "one order for three members");
-            if (holder(c).equals("n1")) { // the renewal is another's, while the authority goes on asking n1
-                c.inject(FaultInjection.parse(0, "end n1"));
-                c.heal(true);
+            if (holder(cluster).equals("n1")) { // the renewal is another's, while the authority goes on asking n1
+                cluster.inject(FaultInjection.parse(0, "end n1"));
+                cluster.heal(true);
             }
-            String second = one(c, first, by(60));
+            String second = one(cluster, first, Waits.deadlineInSeconds(60));
             assertEquals(2, authority.signed(), "one renewal for three members");
-            String holder = holder(c);
+            String holder = holder(cluster);
             if (!holder.equals("n1")) {
-                c.inject(FaultInjection.parse(0, "crash " + holder));
+                cluster.inject(FaultInjection.parse(0, "crash " + holder));
             }
-            one(c, second, by(60));
+            one(cluster, second, Waits.deadlineInSeconds(60));
             assertEquals(3, authority.signed(), "and one by whoever holds the lease after a crash");
-            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
+            assertEquals(List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
         }
     }
 
--- a/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedDiscoveryWatchTest.java
@@ -20,22 +20,21 @@
     @TempDir
     Path folder;
 
-    private static long by(long seconds) {
-        return System.nanoTime() + seconds * 1_000_000_000L;
-    }
-
-    private static long callsIn(ProcessCluster c, int seconds) throws Exception {
-        long before = c.services().listRequests();
+    private static long callsIn(ProcessCluster cluster, int seconds) throws Exception {
+        long before = cluster.services().listRequests();
         Waits.sleep(seconds * 1_000L); // the span that is measured
-        return c.services().listRequests() - before;
+        return cluster.services().listRequests() - before;
     }
 
     /** A new destination's message is taken by each member, once the list that has it has come there. */
-    private static void allLearnOf(ProcessCluster c, int destination) throws Exception {
-        for (String name : c.group()) {
-            long by = by(20);
-            while (c.services().send(c.member(name).ready(), destination).get(10, TimeUnit.SECONDS) != 202) {
-                assertTrue(System.nanoTime() < by, name + " does not know destination " + destination);
+    private static void allLearnOf(ProcessCluster cluster, int destination) throws Exception {
+        for (String name : cluster.group()) {
+            long deadline = Waits.deadlineInSeconds(20);
+            while (cluster.services()
+                            .send(cluster.member(name).ready(), destination)
+                            .get(10, TimeUnit.SECONDS)
+                    != 202) {
+                assertTrue(System.nanoTime() < deadline, name + " does not know destination " + destination);
                 Waits.sleep(20);
             }
         }
@@ -44,29 +43,29 @@
     @Test
     void oneWatchesForAllAndAnotherAfterIt() throws Exception {
         long each;
-        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
-            each = callsIn(c, SECONDS);
+        try (ProcessCluster cluster = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
+            each = callsIn(cluster, SECONDS);
         }
-        try (ProcessCluster c = new ProcessCluster(
+        try (ProcessCluster cluster = new ProcessCluster(
                 PLAN, folder.resolve("on"), ClusterSetup.withLeases("discovery = one\n", true, true))) {
             assertTrue(
-                    c.awaitLastEvent("discovery.", "discovery.watch_delegated", 2, by(20)),
+                    cluster.awaitLastEvent("discovery.", "discovery.watch_delegated", 2, Waits.deadlineInSeconds(20)),
                     "two members leave the watch to the third");
-            long one = callsIn(c, SECONDS);
+            long one = callsIn(cluster, SECONDS);
             assertTrue(2 * one <= each, one + " calls in " + SECONDS + " s, " + each + " without the fleet");
-            allLearnOf(c, c.services().addDestination());
-            String watcher = c.group().stream()
-                    .filter(g -> !c.membersWithLastEvent("discovery.", "discovery.watch_delegated")
-                            .contains(g))
+            allLearnOf(cluster, cluster.services().addDestination());
+            String watcher = cluster.group().stream()
+                    .filter(name -> !cluster.membersWithLastEvent("discovery.", "discovery.watch_delegated")
+                            .contains(name))
                     .findFirst()
                     .orElseThrow();
-            c.inject(FaultInjection.parse(0, "crash " + watcher));
+            cluster.inject(FaultInjection.parse(0, "crash " + watcher));
             assertTrue(
-                    c.awaitLastEvent("discovery.", "discovery.watch_started", 1, by(30)),
+                    cluster.awaitLastEvent("discovery.", "discovery.watch_started", 1, Waits.deadlineInSeconds(30)),
                     "one of the others takes the watch over");
-            c.heal(true);
-            allLearnOf(c, c.services().addDestination());
-            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
+            cluster.heal(true);
+            allLearnOf(cluster, cluster.services().addDestination());
+            assertEquals(List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
         }
     }
 }
--- a/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedRecoveryProbeTest.java
@@ -21,31 +21,32 @@
     Path folder;
 
     /** Calls that reach the failing partner in a span of an outage, while every member is asked for it all the time. */
-    private static long callsInAnOutage(ProcessCluster c) throws Exception {
+    private static long callsInAnOutage(ProcessCluster cluster) throws Exception {
         List<String> at = new ArrayList<>();
-        for (String name : c.group()) {
-            at.add(c.member(name).ready());
+        for (String name : cluster.group()) {
+            at.add(cluster.member(name).ready());
         }
-        c.services().setFailing(true);
-        feed(c, at, 5_000); // the breakers open, and the lease is taken
-        long before = c.services().failed();
-        feed(c, at, 12_000);
-        long calls = c.services().failed() - before;
-        c.services().setFailing(false);
-        long delivered = c.services().delivered();
-        long by = System.nanoTime() + 20_000_000_000L;
-        while (c.services().delivered() < delivered + 30) { // every member's breaker closes, or few would be delivered
-            assertTrue(System.nanoTime() < by, "not delivered again after the outage");
-            feed(c, at, 200);
+        cluster.services().setFailing(true);
+        feed(cluster, at, 5_000); // the breakers open, and the lease is taken
+        long before = cluster.services().failed();
+        feed(cluster, at, 12_000);
+        long calls = cluster.services().failed() - before;
+        cluster.services().setFailing(false);
+        long delivered = cluster.services().delivered();
+        long deadline = Waits.deadlineInSeconds(20);
+        while (cluster.services().delivered()
+                < delivered + 30) { // every member's breaker closes, or few would be delivered
+            assertTrue(System.nanoTime() < deadline, "not delivered again after the outage");
+            feed(cluster, at, 200);
         }
         return calls;
     }
 
-    static void feed(ProcessCluster c, List<String> at, long ms) throws Exception {
+    static void feed(ProcessCluster cluster, List<String> at, long ms) throws Exception {
         long until = System.nanoTime() + ms * 1_000_000;
         while (System.nanoTime() < until) {
             for (String member : at) {
-                c.services().send(member, 1).get(10, TimeUnit.SECONDS);
+                cluster.services().send(member, 1).get(10, TimeUnit.SECONDS);
             }
             Waits.sleep(50); // the traffic's own pace
         }
@@ -55,14 +56,14 @@
     void oneTriesForAll() throws Exception {
         long each;
         long one;
-        try (ProcessCluster c = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
-            each = callsInAnOutage(c);
+        try (ProcessCluster cluster = new ProcessCluster(PLAN, folder.resolve("off"), ClusterSetup.OFF)) {
+            each = callsInAnOutage(cluster);
         }
-        try (ProcessCluster c =
+        try (ProcessCluster cluster =
                 new ProcessCluster(PLAN, folder.resolve("on"), ClusterSetup.withLeases("trials = one\n", true, true))) {
-            assertTrue(c.awaitAct(System.nanoTime() + 20_000_000_000L), "the group has a leader");
-            one = callsInAnOutage(c);
-            assertEquals(List.of(), HistoryCheckers.read(c.histories()).leaseSafety());
+            assertTrue(cluster.awaitAct(Waits.deadlineInSeconds(20)), "the group has a leader");
+            one = callsInAnOutage(cluster);
+            assertEquals(List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
         }
         System.out.println("calls in 12 s of an outage: " + each + " each for itself, " + one + " one for all");
         assertTrue(5 * one <= 3 * each, one + " calls, " + each + " without the fleet");
--- a/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
+++ b/src/test/java/elderseam/testkit/faults/VersionFaultCasesTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.ResourceLock;
 
-/** Versions that three real processes agree on, and what befalls them meanwhile. */
+/** Versions that three real processes agree on, while faults are injected. */
 @ResourceLock("rig one") // each class starts some processes: two classes at a time
 class VersionFaultCasesTest {
     private static final int RATE = 1; // of a rule that refuses nearly all
@@ -23,10 +23,6 @@
     @TempDir
     Path folder;
 
-    private static long by(long seconds) {
-        return System.nanoTime() + seconds * 1_000_000_000L;
-    }
-
     private LeaseTestRun.Result play(String plant, int rounds) throws Exception {
         return LeaseTestRun.run(
                 new LeaseTestRun.Terms("versions", rounds, 11, plant, folder.resolve(plant == null ? "right" : plant)),
@@ -35,9 +31,9 @@
 
     @Test
     void noTwoActOnContradictingVersionsUnderANemesis() throws Exception {
-        LeaseTestRun.Result r = play(null, 3);
-        assertEquals(List.of(), r.violations());
-        System.out.println("versions: " + r.figures());
+        LeaseTestRun.Result result = play(null, 3);
+        assertEquals(List.of(), result.violations());
+        System.out.println("versions: " + result.figures());
     }
 
     @Test
@@ -48,33 +44,52 @@
     }
 
     private ProcessCluster cluster(Map<String, Integer> clocks) throws Exception {
-        ProcessCluster c = new ProcessCluster(
+        ProcessCluster cluster = new ProcessCluster(
                 new FaultSchedule(3, 1_200, 5, 150, 1_000, clocks, List.of()),
                 folder.resolve("c"),
                 VersionTestRun.setup(null));
-        VersionProposals.awaitAgreement(c, by(30));
-        return c;
+        VersionProposals.awaitAgreement(cluster, Waits.deadlineInSeconds(30));
+        return cluster;
     }
 
-    private static String value(ProcessCluster c, String member, String name) throws Exception {
-        return VersionProposals.value(c, member, name);
+    private static String value(ProcessCluster cluster, String member, String name) throws Exception {
+        return VersionProposals.value(cluster, member, name);
     }
 
-    private static int send(ProcessCluster c, String member) throws Exception {
-        return c.services().send(c.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
+    private static int send(ProcessCluster cluster, String member) throws Exception {
+        return cluster.services().send(cluster.member(member).ready(), 1).get(10, TimeUnit.SECONDS);
     }
 
     /** Proposes, and waits until all act on it. */
-    private static void adopted(ProcessCluster c, String at, Path file) throws Exception {
-        String hash = VersionProposals.propose(c, at, file, "a test's");
+    private static void adopted(ProcessCluster cluster, String at, Path file) throws Exception {
+        String hash = VersionProposals.propose(cluster, at, file, "a test's");
         assertFalse(hash.isEmpty());
-        long until = by(30);
-        while (!VersionProposals.awaitAgreement(c, until).equals(hash)) {
-            assertTrue(System.nanoTime() < until, "not adopted: " + c.member(at).ask("CONFIG"));
+        long until = Waits.deadlineInSeconds(30);
+        while (!VersionProposals.awaitAgreement(cluster, until).equals(hash)) {
+            assertTrue(
+                    System.nanoTime() < until,
+                    "not adopted: " + cluster.member(at).ask("CONFIG"));
             Waits.sleep(20);
         }
     }
 
+    private static List<String> disagreements(ProcessCluster cluster) throws Exception {
+        return HistoryCheckers.read(cluster.histories())
+                .agreement(
+                        VersionTestRun.BOUND_MS + VersionTestRun.BOUND_TOLERANCE_MS,
+                        VersionTestRun.SWITCH_TOLERANCE_MS);
+    }
+
+    /** Writes a version whose rules refuse nearly all; its file. */
+    private static Path writeStrictVersion(Path folder) throws Exception {
+        Files.createDirectories(folder);
+        Files.writeString(
+                folder.resolve("few.rules"),
+                "[limit few]\nrate_per_s = " + RATE
+                        + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
+        return Files.writeString(folder.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
+    }
+
     /** Waits for this member's own doubt: another one may be in doubt for a moment, where the machine is busy. */
     private static void awaitDoubt(ProcessCluster cluster, String member, long untilNs) throws Exception {
         while (!value(cluster, member, "doubt").equals("yes")) {
@@ -86,37 +101,35 @@
     /** The side that is cut off refuses new work from T on, and the others act on the newer version; afterwards all do. */
     @Test
     void theSideThatIsCutOffGoesIntoDoubtAndARestartFromAnOldFolderDoesNotActOnIt() throws Exception {
-        try (ProcessCluster c = cluster(Map.of("n1", 105))) {
-            adopted(c, "n2", VersionTestRun.writeVersion(c, 0));
-            assertEquals(202, send(c, "n1"));
-            c.inject(FaultInjection.parse(0, "isolate n1"));
-            assertTrue(c.awaitLastEvent(
-                    "configuration.", "configuration.version_in_doubt rejects_requests=true fault=none", 1, by(10)));
-            awaitDoubt(c, "n1", by(10));
-            assertEquals(503, send(c, "n1"), "a rule may say otherwise by now");
-            assertFalse(VersionProposals.propose(c, "n2", VersionTestRun.writeVersion(c, 1), "without n1")
+        try (ProcessCluster cluster = cluster(Map.of("n1", 105))) {
+            adopted(cluster, "n2", VersionTestRun.writeVersion(cluster, 0));
+            assertEquals(202, send(cluster, "n1"));
+            cluster.inject(FaultInjection.parse(0, "isolate n1"));
+            assertTrue(cluster.awaitLastEvent(
+                    "configuration.",
+                    "configuration.version_in_doubt rejects_requests=true fault=none",
+                    1,
+                    Waits.deadlineInSeconds(10)));
+            awaitDoubt(cluster, "n1", Waits.deadlineInSeconds(10));
+            assertEquals(503, send(cluster, "n1"), "a rule may say otherwise by now");
+            assertFalse(VersionProposals.propose(cluster, "n2", VersionTestRun.writeVersion(cluster, 1), "without n1")
                     .isEmpty());
-            while (!value(c, "n2", "acting").startsWith("2 ")
-                    || !value(c, "n3", "acting").startsWith("2 ")) {
-                Waits.sleep(20); // the group's own word is asked for
+            while (!value(cluster, "n2", "acting").startsWith("2 ")
+                    || !value(cluster, "n3", "acting").startsWith("2 ")) {
+                Waits.sleep(20); // members answer questions, and report no change by themselves
             }
-            assertEquals(202, send(c, "n2"), "the side with the majority serves");
-            assertTrue(value(c, "n1", "acting").startsWith("1 ")
-                    && value(c, "n1", "doubt").equals("yes"));
-            c.inject(FaultInjection.parse(0, "crash n1"));
-            c.inject(
+            assertEquals(202, send(cluster, "n2"), "the side with the majority serves");
+            assertTrue(value(cluster, "n1", "acting").startsWith("1 ")
+                    && value(cluster, "n1", "doubt").equals("yes"));
+            cluster.inject(FaultInjection.parse(0, "crash n1"));
+            cluster.inject(
                     FaultInjection.parse(0, "restart")); // on its folder, two versions behind by now, and still cut off
-            assertEquals(503, send(c, "n1"), "what it acted on last is not acted on before it is confirmed");
-            c.heal(true);
-            VersionProposals.awaitAgreement(c, by(30));
-            assertTrue(value(c, "n1", "acting").startsWith("2 "));
-            assertEquals(202, send(c, "n1"));
-            assertEquals(
-                    List.of(),
-                    HistoryCheckers.read(c.histories())
-                            .agreement(
-                                    VersionTestRun.BOUND_MS + VersionTestRun.BOUND_TOLERANCE_MS,
-                                    VersionTestRun.SWITCH_TOLERANCE_MS));
+            assertEquals(503, send(cluster, "n1"), "what it acted on last is not acted on before it is confirmed");
+            cluster.heal(true);
+            VersionProposals.awaitAgreement(cluster, Waits.deadlineInSeconds(30));
+            assertTrue(value(cluster, "n1", "acting").startsWith("2 "));
+            assertEquals(202, send(cluster, "n1"));
+            assertEquals(List.of(), disagreements(cluster));
         }
         List<ConfigurationVersion> kept = new VersionStore(folder.resolve("c/n1/state/versions")).loadAll();
         assertEquals(
@@ -128,46 +141,42 @@
     /** Two proposals at once, one that a member can't use, and the way back. */
     @Test
     void oneProposalWinsOneThatFailsAnywhereIsRefusedForAllAndARollbackIsANewVersion() throws Exception {
-        try (ProcessCluster c = cluster(Map.of())) {
-            Path strict = c.folder().resolve("strict");
-            Files.createDirectories(strict);
-            Files.writeString(
-                    strict.resolve("few.rules"),
-                    "[limit few]\nrate_per_s = " + RATE
-                            + "\nburst = 1\n[table all]\nmatch = first\n[rule all]\nwhen = true\nlimit = few\n");
-            Path few = Files.writeString(strict.resolve("version.ini"), "[rules]\nfiles = few.rules\n");
-            String one = VersionProposals.propose(c, "n1", few, "one");
-            String two = VersionProposals.propose(c, "n2", VersionTestRun.writeVersion(c, 7), "two");
+        try (ProcessCluster cluster = cluster(Map.of())) {
+            Path strict = cluster.folder().resolve("strict");
+            Path few = writeStrictVersion(strict);
+            String one = VersionProposals.propose(cluster, "n1", few, "one");
+            String two = VersionProposals.propose(cluster, "n2", VersionTestRun.writeVersion(cluster, 7), "two");
             assertFalse(one.isEmpty() || two.isEmpty());
-            String won = VersionProposals.awaitAgreement(c, by(30));
+            String won = VersionProposals.awaitAgreement(cluster, Waits.deadlineInSeconds(30));
             while (won.equals(ConfigurationVersion.NONE.shortHash())) {
-                won = VersionProposals.awaitAgreement(c, by(30));
+                won = VersionProposals.awaitAgreement(cluster, Waits.deadlineInSeconds(30));
             }
             assertTrue(won.equals(one) ^ won.equals(two), "one of them");
-            assertEquals("1", value(c, "n3", "latest").split(" ")[0], "and the other is not the next");
+            assertEquals("1", value(cluster, "n3", "latest").split(" ")[0], "and the other is not the next");
 
             // a path that is there in the process n1 alone: what is missing on another machine
-            String there = "/proc/self/task/" + c.member("n1").pid() + "/root" + strict.resolve("few.rules");
+            String there = "/proc/self/task/" + cluster.member("n1").pid() + "/root" + strict.resolve("few.rules");
             Path mine = Files.writeString(
-                    Files.createDirectories(c.folder().resolve("own")).resolve("version.ini"),
+                    Files.createDirectories(cluster.folder().resolve("own")).resolve("version.ini"),
                     "[rules]\nfiles = " + there + "\n");
-            assertFalse(VersionProposals.propose(c, "n1", mine, "a file of n1's own")
+            assertFalse(VersionProposals.propose(cluster, "n1", mine, "a file of n1's own")
                     .isEmpty());
-            while (!value(c, "n1", "ended").contains("refused: ")) {
+            while (!value(cluster, "n1", "ended").contains("refused: ")) {
                 Waits.sleep(20);
             }
             assertTrue(
-                    value(c, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"),
-                    value(c, "n1", "ended"));
-            assertEquals("1", value(c, "n2", "latest").split(" ")[0], "none has adopted it");
+                    value(cluster, "n1", "ended").matches(".*refused: n[23]: .*there is no such file"),
+                    value(cluster, "n1", "ended"));
+            assertEquals("1", value(cluster, "n2", "latest").split(" ")[0], "none has adopted it");
 
-            String back = c.member("n2").ask("CONFIG ROLLBACK 0 as it was");
+            String back = cluster.member("n2").ask("CONFIG ROLLBACK 0 as it was");
             assertTrue(back.startsWith("200 asked"), back);
-            while (!value(c, "n3", "acting").startsWith("3 ")
-                    || !VersionProposals.awaitAgreement(c, by(30)).equals(ConfigurationVersion.NONE.shortHash())) {
+            while (!value(cluster, "n3", "acting").startsWith("3 ")
+                    || !VersionProposals.awaitAgreement(cluster, Waits.deadlineInSeconds(30))
+                            .equals(ConfigurationVersion.NONE.shortHash())) {
                 Waits.sleep(20);
             }
-            assertTrue(c.member("n3").ask("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
+            assertTrue(cluster.member("n3").ask("CONFIG DIFF 1 3").contains("-files = "), "what it took back");
         }
     }
 
@@ -175,20 +184,20 @@
     @Test
     void discoveryMovesByAVersion() throws Exception {
         ExternalServices other = new ExternalServices(3, 1);
-        try (ProcessCluster c = cluster(Map.of())) {
+        try (ProcessCluster cluster = cluster(Map.of())) {
             Path file = Files.writeString(
-                    Files.createDirectories(c.folder().resolve("move")).resolve("version.ini"),
+                    Files.createDirectories(cluster.folder().resolve("move")).resolve("version.ini"),
                     "[discovery]\naddress = " + other.address() + "\n");
-            adopted(c, "n3", file);
-            long until = by(20);
+            adopted(cluster, "n3", file);
+            long until = Waits.deadlineInSeconds(20);
             while (other.listRequests() < 3) {
                 assertTrue(System.nanoTime() < until, other.listRequests() + " calls at the new place");
                 Waits.sleep(20);
             }
             Waits.sleep(1_500); // the last watch at the old place has been answered
-            long old = c.services().listRequests();
+            long old = cluster.services().listRequests();
             Waits.sleep(1_500);
-            assertEquals(old, c.services().listRequests(), "nobody asks the old place");
+            assertEquals(old, cluster.services().listRequests(), "nobody asks the old place");
         }
     }
 }
