--- a/src/main/java/elderseam/testkit/simulator/LineFields.java
+++ b/src/main/java/elderseam/testkit/simulator/LineFields.java
@@ -1,98 +1,130 @@
 package elderseam.testkit.simulator;
 
-/** The parts of one line, read from left to right. */
+/**
+ * Reads the fields of one line from left to right. Fields are separated by single spaces; a field of {@code -} is an absent value.
+ * Each reader takes the name of the field, for the message of the {@link WireException} that it throws on a missing or malformed one.
+ */
 final class LineFields {
+    private static final char SEPARATOR = ' ';
+    private static final String ABSENT = "-";
+    private static final String TRUE = "1";
+    private static final String FALSE = "0";
+
     private final String line;
-    private final long lineNo;
-    private int at;
+    private final long lineNumber;
+
+    /** Where the next field starts; one past the length once all fields are read. */
+    private int position;
 
-    LineFields(String line, long lineNo) {
+    LineFields(String line, long lineNumber) {
         this.line = line;
-        this.lineNo = lineNo;
+        this.lineNumber = lineNumber;
     }
 
-    WireException fault(String words) {
-        return new WireException("line " + lineNo + ": " + words);
+    /** Creates, but does not throw, an exception that names this line. */
+    WireException fault(String description) {
+        return new WireException(lineNumber, description);
     }
 
-    /** The next part; it must be there. */
-    String text(String what) {
-        if (at > line.length()) {
-            throw fault("missing " + what);
+    /** Reads the next field, which must be present and not empty. */
+    String text(String fieldName) {
+        if (isAtEnd()) {
+            throw fault("missing " + fieldName);
         }
-        int end = line.indexOf(' ', at);
+        int end = line.indexOf(SEPARATOR, position);
         if (end < 0) {
             end = line.length();
         }
-        String part = line.substring(at, end);
-        at = end + 1;
-        if (part.isEmpty()) {
-            throw fault("missing " + what);
+        String field = line.substring(position, end);
+        position = end + 1;
+        if (field.isEmpty()) {
+            throw fault("missing " + fieldName);
         }
-        return part;
+        return field;
     }
 
-    /** All that is left of the line. */
+    /** Reads all that is left of the line, separators included; empty if nothing is left. */
     String rest() {
-        String left = at > line.length() ? "" : line.substring(at);
-        at = line.length() + 1;
-        return left;
+        String remainder = isAtEnd() ? "" : line.substring(position);
+        position = line.length() + 1;
+        return remainder;
     }
 
-    long number(String what) {
-        return number(text(what), what);
+    /** Reads the next field as an integer. */
+    long number(String fieldName) {
+        return parseNumber(text(fieldName), fieldName);
     }
 
-    long numberOr(String what, long absent) {
-        String part = text(what);
-        return part.equals("-") ? absent : number(part, what);
+    /** Reads the next field as an integer, or returns {@code defaultValue} if it is marked as absent. */
+    long numberOr(String fieldName, long defaultValue) {
+        String field = text(fieldName);
+        return isAbsent(field) ? defaultValue : parseNumber(field, fieldName);
     }
 
-    long number(String part, String what) {
+    /** Parses a field that was read before as an integer. */
+    long parseNumber(String field, String fieldName) {
         try {
-            return Long.parseLong(part);
+            return Long.parseLong(field);
         } catch (NumberFormatException e) {
-            throw fault("bad " + what + " '" + part + "'");
+            throw malformed(field, fieldName);
         }
     }
 
-    double real(String what) {
-        return real(text(what), what);
+    /** Reads the next field as a finite decimal number. */
+    double real(String fieldName) {
+        return parseReal(text(fieldName), fieldName);
     }
 
-    double real(String part, String what) {
+    /** Parses text that was read before as a finite decimal number. */
+    double parseReal(String field, String fieldName) {
         double value;
         try {
-            value = Double.parseDouble(part);
+            value = Double.parseDouble(field);
         } catch (NumberFormatException e) {
-            throw fault("bad " + what + " '" + part + "'");
+            throw malformed(field, fieldName);
         }
         if (!Double.isFinite(value)) {
-            throw fault("bad " + what + " '" + part + "'");
+            throw malformed(field, fieldName);
         }
         return value;
     }
 
-    /** A whole number from 0 to below {@code limit}. */
-    int index(String what, int limit) {
-        long value = number(what);
+    /** Reads the next field as an integer from 0 (inclusive) to {@code limit} (exclusive). */
+    int index(String fieldName, int limit) {
+        long value = number(fieldName);
         if (value < 0 || value >= limit) {
-            throw fault(what + " " + value + " is out of range");
+            throw fault(fieldName + " " + value + " is out of range");
         }
         return (int) value;
     }
 
-    boolean flag(String what) {
-        String part = text(what);
-        if (part.equals("1") || part.equals("0")) {
-            return part.equals("1");
-        }
-        throw fault("bad " + what + " '" + part + "'");
+    /** Reads the next field as a boolean, written as 1 or 0. */
+    boolean flag(String fieldName) {
+        String field = text(fieldName);
+        return switch (field) {
+            case TRUE -> true;
+            case FALSE -> false;
+            default -> throw malformed(field, fieldName);
+        };
     }
 
+    /** Checks that no field is left. */
     void end() {
-        if (at <= line.length()) {
-            throw fault("unexpected '" + line.substring(at) + "'");
+        if (!isAtEnd()) {
+            throw fault("unexpected '" + line.substring(position) + "'");
         }
     }
+
+    /** Whether a field that was read before is marked as absent. */
+    static boolean isAbsent(String field) {
+        return field.equals(ABSENT);
+    }
+
+    private boolean isAtEnd() {
+        return position > line.length();
+    }
+
+    private WireException malformed(String field, String fieldName) {
+        return fault("bad " + fieldName + " '" + field + "'");
+    }
 }
--- a/src/main/java/elderseam/testkit/simulator/WireException.java
+++ b/src/main/java/elderseam/testkit/simulator/WireException.java
@@ -1,10 +1,10 @@
 package elderseam.testkit.simulator;
 
-/** Input that the wire does not allow; the message names line and fault. */
+/** Input that breaks the wire format; the message names the line and the fault. */
 public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    WireException(String fault) {
-        super(fault);
+    WireException(long lineNumber, String fault) {
+        super("line " + lineNumber + ": " + fault);
     }
 }
