--- a/src/main/java/elderseam/cli/LabCompareCommand.java
+++ b/src/main/java/elderseam/cli/LabCompareCommand.java
@@ -44,7 +44,7 @@
         for (String figure : figures) {
             PairedComparison comparison =
                     PairedComparison.of(values(rowsA, commonRuns, figure), values(rowsB, commonRuns, figure));
-            out().printf("%-22s %s%n", figure, comparison.words());
+            out().printf("%-22s %s%n", figure, comparison.format());
         }
         return ExitCodes.OK;
     }
--- a/src/main/java/elderseam/cli/LabRunCommand.java
+++ b/src/main/java/elderseam/cli/LabRunCommand.java
@@ -84,7 +84,7 @@
         out().printf(Locale.ROOT, "%s, seed %d, %.1f s of this machine%n", run.policy(), run.seed(), wallSeconds);
         run.figures().forEach((name, value) -> out().printf(Locale.ROOT, "  %-26s %14.4f%n", name, value));
         run.broken().forEach((rule, count) -> out().printf("  broken: %-18s %14d%n", rule, count));
-        out().print(run.words());
+        out().print(run.violations());
         out().flush();
     }
 }
--- a/src/main/java/elderseam/testkit/lab/ExperimentRun.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -2,125 +2,130 @@
 
 import elderseam.core.JsonValue;
 import elderseam.policy.BreakerState;
-import elderseam.policy.BreakerView;
 import elderseam.testkit.emulator.EmulatedWorld;
 import elderseam.testkit.emulator.Policies;
 import elderseam.testkit.emulator.RuleCheckers;
 import elderseam.testkit.emulator.RunStatistics;
 import elderseam.testkit.emulator.Scenario;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 
 /**
- * One run of one plan with one policy and one seed, and all that it came to.
+ * The results of one run of a scenario with one policy and one seed. The same three give the same results.
  *
- * @param breakers of each destination that ever had a breaker open: by second 0 closed, 1 trying, 2 open, the worst of all dispatchers
+ * @param figures by name, in the order of reports
+ * @param broken how often each rule was broken, by the rule's wire name; empty where none was
+ * @param violations the first violations of rules, a line each
+ * @param serviceBySecond the service that the requests of each second got; NaN in a second without requests
+ * @param refusalsBySecond rejections that reached a client in each second
+ * @param failedCallsBySecond calls that failed in each second
+ * @param breakerTimelines by destination, of those that had a breaker open: the state furthest from closed of all dispatchers in each
+ *     second
+ * @param latencyPercentiles by request class: milliseconds at each of {@link #PERCENTILES}
  */
 public record ExperimentRun(
         String policy,
         long seed,
         Map<String, Double> figures,
         Map<String, Integer> broken,
-        String words,
-        double[] series,
-        int[] refusals,
-        int[] calls,
-        int[] failed,
-        Map<Long, byte[]> breakers,
-        Map<String, double[]> latencies) {
-    private static final long S = 1_000_000_000L;
-    private static final int MOST_TIMELINES = 200;
+        String violations,
+        double[] serviceBySecond,
+        int[] refusalsBySecond,
+        int[] failedCallsBySecond,
+        SortedMap<Long, BreakerState[]> breakerTimelines,
+        Map<String, double[]> latencyPercentiles) {
     static final double[] PERCENTILES = {1, 10, 25, 50, 75, 90, 95, 99, 99.9, 99.99, 100};
 
-    public static ExperimentRun of(Scenario plan, String policy, long seed, DoubleConsumer progress) {
-        RunStatistics tally = new RunStatistics(plan);
-        RuleCheckers checkers = new RuleCheckers(plan.fleet().slots());
-        EmulatedWorld world = new EmulatedWorld(plan, policy, seed, List.of(tally, checkers));
-        int seconds = (int) Math.ceil(plan.seconds());
-        Map<Long, byte[]> lines = new HashMap<>();
-        for (int s = 0; s < seconds; s++) {
-            int at = s;
-            world.time().at(s * S, () -> world.breakers((d, b) -> look(lines, d, b, at, seconds)));
-        }
+    private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    /**
+     * Plays a scenario to its end on the caller's thread.
+     *
+     * @param policy a name of {@link Policies#names}
+     * @param progress receives the virtual time in seconds from time to time
+     */
+    public static ExperimentRun of(Scenario scenario, String policy, long seed, DoubleConsumer progress) {
+        RunStatistics statistics = new RunStatistics(scenario);
+        RuleCheckers checkers = new RuleCheckers(scenario.fleet().slots());
+        EmulatedWorld world = new EmulatedWorld(scenario, policy, seed, List.of(statistics, checkers));
+        int seconds = (int) Math.ceil(scenario.seconds());
+        BreakerTimelines breakers = new BreakerTimelines(seconds);
+        observeEachSecond(world, breakers, seconds);
         world.run(progress);
-        Map<String, Double> figures = tally.figures();
-        figures.put("felled", (double) checkers.felled());
         Map<String, Integer> broken = new TreeMap<>();
-        checkers.broken().forEach((rule, n) -> broken.put(rule.wireName(), n));
-        figures.put("broken", (double) broken.values().stream().mapToInt(n -> n).sum());
-        Map<Long, byte[]> open = new TreeMap<>();
-        lines.forEach((d, line) -> {
-            if (open.size() < MOST_TIMELINES && has(line)) {
-                open.put(d, line);
-            }
-        });
-        Map<String, double[]> latencies = new LinkedHashMap<>();
-        for (int c = 0; c < 3; c++) {
-            double[] at = new double[PERCENTILES.length];
-            for (int i = 0; i < at.length; i++) {
-                at[i] = tally.latency(c).getValueAtPercentile(PERCENTILES[i]) / 1_000.0;
-            }
-            latencies.put(Policies.CLASS_NAMES.get(c), at);
-        }
+        checkers.broken().forEach((rule, count) -> broken.put(rule.wireName(), count));
         return new ExperimentRun(
                 policy,
                 seed,
-                figures,
+                figures(statistics, checkers),
                 broken,
                 checkers.words(),
-                cut(tally.series(), seconds),
-                cut(tally.refusals(), seconds),
-                cut(tally.callsASecond(), seconds),
-                cut(tally.failedASecond(), seconds),
-                open,
-                latencies);
+                truncated(statistics.series(), seconds),
+                truncated(statistics.refusals(), seconds),
+                truncated(statistics.failedASecond(), seconds),
+                breakers.opened(),
+                latencyPercentiles(statistics));
     }
 
-    private static void look(Map<Long, byte[]> lines, long d, BreakerView b, int second, int seconds) {
-        byte state = (byte) (b.state() == BreakerState.CLOSED ? 0 : b.state() == BreakerState.HALF_OPEN ? 1 : 2);
-        if (state > 0) {
-            byte[] line = lines.computeIfAbsent(d, x -> new byte[seconds]);
-            line[second] = (byte) Math.max(line[second], state);
+    private static void observeEachSecond(EmulatedWorld world, BreakerTimelines breakers, int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            int second = i;
+            world.time().at(second * NANOS_PER_SECOND, () -> {
+                world.breakers((destination, breaker) -> breakers.observe(second, destination, breaker));
+            });
         }
     }
 
-    private static boolean has(byte[] line) {
-        for (byte b : line) {
-            if (b == 2) {
-                return true;
+    private static Map<String, Double> figures(RunStatistics statistics, RuleCheckers checkers) {
+        Map<String, Double> figures = statistics.figures();
+        figures.put("felled", (double) checkers.felled());
+        int brokenCount =
+                checkers.broken().values().stream().mapToInt(Integer::intValue).sum();
+        figures.put("broken", (double) brokenCount);
+        return figures;
+    }
+
+    private static Map<String, double[]> latencyPercentiles(RunStatistics statistics) {
+        Map<String, double[]> latencies = new LinkedHashMap<>();
+        for (int requestClass = 0; requestClass < Policies.CLASS_NAMES.size(); requestClass++) {
+            double[] millis = new double[PERCENTILES.length];
+            for (int i = 0; i < PERCENTILES.length; i++) {
+                long micros = statistics.latency(requestClass).getValueAtPercentile(PERCENTILES[i]);
+                millis[i] = micros / MICROS_PER_MILLI;
             }
+            latencies.put(Policies.CLASS_NAMES.get(requestClass), millis);
         }
-        return false;
+        return latencies;
     }
 
-    private static double[] cut(double[] of, int n) {
-        return java.util.Arrays.copyOf(of, Math.min(of.length, n));
+    private static double[] truncated(double[] values, int maxLength) {
+        return Arrays.copyOf(values, Math.min(values.length, maxLength));
     }
 
-    private static int[] cut(int[] of, int n) {
-        return java.util.Arrays.copyOf(of, Math.min(of.length, n));
+    private static int[] truncated(int[] values, int maxLength) {
+        return Arrays.copyOf(values, Math.min(values.length, maxLength));
     }
 
-    /** One line of JSON with the figures; the series are the report's. */
+    /**
+     * Formats the figures as one JSON object on one line; the values by second are left out.
+     *
+     * @param parameters members that come first, such as the values that a sweep has set
+     */
     public String json(Map<String, String> parameters) {
-        List<String> all = new ArrayList<>();
-        parameters.forEach((k, v) -> all.add(JsonValue.quote(k) + ":" + JsonValue.quote(v)));
-        all.add("\"policy\":" + JsonValue.quote(policy));
-        all.add("\"seed\":" + seed);
-        figures.forEach((k, v) -> all.add(JsonValue.quote(k) + ":" + number(v)));
-        broken.forEach((k, v) -> all.add(JsonValue.quote("broken_" + k) + ":" + v));
-        return "{" + String.join(",", all) + "}";
-    }
-
-    static String number(double v) {
-        return v == Math.rint(v) && Math.abs(v) < 1e15
-                ? Long.toString((long) v)
-                : String.format(Locale.ROOT, "%.6f", v);
+        List<String> members = new ArrayList<>();
+        parameters.forEach((name, value) -> members.add(JsonValue.quote(name) + ":" + JsonValue.quote(value)));
+        members.add("\"policy\":" + JsonValue.quote(policy));
+        members.add("\"seed\":" + seed);
+        figures.forEach((name, value) -> members.add(JsonValue.quote(name) + ":" + FigureFormat.format(value)));
+        broken.forEach((rule, count) -> members.add(JsonValue.quote("broken_" + rule) + ":" + count));
+        return "{" + String.join(",", members) + "}";
     }
 }
--- a/src/main/java/elderseam/testkit/lab/ParameterSweep.java
+++ b/src/main/java/elderseam/testkit/lab/ParameterSweep.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,117 +21,174 @@
 import java.util.function.BiConsumer;
 
 /**
- * A grid of parameters by policies by seeds, on all cores. Each run that is done is a line of {@code runs.jsonl}, written whole at
- * once; what is begun anew on the same folder skips those that are there, and a line that was torn by a kill is cut off.
+ * Runs a grid of scenario values, policies and seeds on several threads. Each completed run is one line of {@code runs.jsonl}, written
+ * in one piece. A sweep that is started again on its folder cuts off a line that an abrupt end left incomplete, and skips the runs that
+ * are there.
  */
 public final class ParameterSweep {
-    /** One cell of the grid: values by {@code kind.name.key}, policy and seed. */
-    public record Cell(Map<String, String> set, String policy, long seed) {
+    private static final String RESULTS_FILE = "runs.jsonl";
+    private static final String SCENARIO_COPY = "scenario";
+
+    /** Name of the value that identifies the cell of a run in the results. */
+    private static final String CELL = "cell";
+
+    /**
+     * One run of the grid.
+     *
+     * @param overrides values by {@code kind.name.key} that replace those of the scenario
+     */
+    public record Cell(Map<String, String> overrides, String policy, long seed) {
+        /** Identifies the run in the results file: the form is stored and must not change. */
         String name() {
-            return set + " " + policy + " " + seed;
+            return overrides + " " + policy + " " + seed;
+        }
+
+        private Map<String, String> parameters() {
+            Map<String, String> parameters = new LinkedHashMap<>();
+            parameters.put(CELL, name());
+            parameters.putAll(overrides);
+            return parameters;
         }
     }
 
     private final String file;
-    private final List<String> lines;
+    private final List<String> scenarioLines;
     private final Path folder;
+    private final Path results;
 
-    /** Of a scenario, into a folder that is this sweep's own. */
-    public ParameterSweep(String file, List<String> lines, Path folder) {
+    /** Guarded by this. */
+    private int completedRuns;
+
+    /**
+     * Creates a sweep.
+     *
+     * @param file name of the scenario's file, for messages
+     * @param folder takes the results; it belongs to this sweep alone
+     */
+    public ParameterSweep(String file, List<String> scenarioLines, Path folder) {
         this.file = file;
-        this.lines = lines;
+        this.scenarioLines = scenarioLines;
         this.folder = folder;
+        this.results = folder.resolve(RESULTS_FILE);
     }
 
-    /** {@code grid}: values for each {@code kind.name.key}. */
+    /**
+     * Lists every combination of values, policies and seeds.
+     *
+     * @param grid the values to try of each {@code kind.name.key}
+     * @param seeds how many seeds, from {@code firstSeed} on
+     */
     public static List<Cell> cells(Map<String, List<String>> grid, List<String> policies, long firstSeed, int seeds) {
-        List<Map<String, String>> sets = new ArrayList<>(List.of(new LinkedHashMap<>()));
-        for (Map.Entry<String, List<String>> e : grid.entrySet()) {
-            List<Map<String, String>> more = new ArrayList<>();
-            for (Map<String, String> s : sets) {
-                for (String v : e.getValue()) {
-                    Map<String, String> with = new LinkedHashMap<>(s);
-                    with.put(e.getKey(), v);
-                    more.add(with);
+        List<Cell> cells = new ArrayList<>();
+        for (Map<String, String> overrides : combinations(grid)) {
+            for (String policy : policies) {
+                for (int i = 0; i < seeds; i++) {
+                    cells.add(new Cell(overrides, policy, firstSeed + i));
                 }
             }
-            sets = more;
         }
-        List<Cell> all = new ArrayList<>();
-        for (Map<String, String> s : sets) {
-            for (String p : policies) {
-                for (int i = 0; i < seeds; i++) {
-                    all.add(new Cell(s, p, firstSeed + i));
+        return cells;
+    }
+
+    private static List<Map<String, String>> combinations(Map<String, List<String>> grid) {
+        List<Map<String, String>> combinations = List.of(Map.of());
+        for (Map.Entry<String, List<String>> key : grid.entrySet()) {
+            List<Map<String, String>> extended = new ArrayList<>();
+            for (Map<String, String> combination : combinations) {
+                for (String value : key.getValue()) {
+                    Map<String, String> copy = new LinkedHashMap<>(combination);
+                    copy.put(key.getKey(), value);
+                    extended.add(copy);
                 }
             }
+            combinations = extended;
         }
-        return all;
+        return combinations;
     }
 
-    /** Runs what is not there yet; {@code progress}: done and all. Returns how many ran now. */
+    /**
+     * Runs the cells whose results are not there yet, and waits for them.
+     *
+     * @param progress receives the numbers of completed and of all runs, at the start and after each run, on any thread but never on
+     *     two at once
+     * @return how many runs were made by this call
+     * @throws IOException if a scenario of the grid is invalid (before any run), the folder holds the runs of another scenario, or a
+     *     run or file fails
+     */
     public int run(List<Cell> cells, int threads, BiConsumer<Integer, Integer> progress)
             throws IOException, InterruptedException {
-        for (Cell c : cells) {
-            ScenarioFile.of(file, lines, c.set); // every plan of the grid is sound before any runs
+        for (Cell cell : cells) {
+            scenario(cell);
+        }
+        claimFolder();
+        Set<String> completed = completedCells();
+        List<Cell> remaining =
+                cells.stream().filter(cell -> !completed.contains(cell.name())).toList();
+        synchronized (this) {
+            completedRuns = cells.size() - remaining.size();
+            progress.accept(completedRuns, cells.size());
         }
+        runAll(remaining, threads, cells.size(), progress);
+        return remaining.size();
+    }
+
+    private Scenario scenario(Cell cell) throws IOException {
+        return ScenarioFile.of(file, scenarioLines, cell.overrides);
+    }
+
+    /** Creates the folder with a copy of the scenario, or checks that the copy that is there is the same. */
+    private void claimFolder() throws IOException {
         Files.createDirectories(folder);
-        Path results = folder.resolve("runs.jsonl");
-        Path copy = folder.resolve("scenario");
-        byte[] text = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
-        if (Files.exists(copy) && !java.util.Arrays.equals(Files.readAllBytes(copy), text)) {
+        Path copy = folder.resolve(SCENARIO_COPY);
+        byte[] text = String.join("\n", scenarioLines).getBytes(StandardCharsets.UTF_8);
+        if (Files.exists(copy) && !Arrays.equals(Files.readAllBytes(copy), text)) {
             throw new IOException(folder + ": holds the runs of another scenario, allowed: a folder of its own");
         }
         Files.write(copy, text);
-        Set<String> there = there(results);
-        List<Cell> left = cells.stream().filter(c -> !there.contains(c.name())).toList();
+    }
+
+    /** Returns the names of the cells in the results file, after cutting off an incomplete last line. */
+    private Set<String> completedCells() throws IOException {
+        Set<String> completed = new HashSet<>();
+        if (!Files.exists(results)) {
+            return completed;
+        }
+        String text = Files.readString(results);
+        int completeLength = text.lastIndexOf('\n') + 1;
+        if (completeLength < text.length()) {
+            Files.writeString(results, text.substring(0, completeLength));
+        }
+        for (RunTable.Row row : RunTable.read(results)) {
+            completed.add(row.text(CELL));
+        }
+        return completed;
+    }
+
+    private void runAll(List<Cell> cells, int threads, int total, BiConsumer<Integer, Integer> progress)
+            throws IOException, InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(threads);
-        int[] done = {cells.size() - left.size()};
-        progress.accept(done[0], cells.size());
         try {
-            List<Future<?>> all = new ArrayList<>();
-            for (Cell c : left) {
-                all.add(pool.submit(() -> {
-                    Scenario plan = ScenarioFile.of(file, lines, c.set);
-                    String line =
-                            ExperimentRun.of(plan, c.policy, c.seed, s -> {}).json(named(c)) + "\n";
-                    synchronized (this) {
-                        Files.writeString(results, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-                        progress.accept(++done[0], cells.size());
-                    }
+            List<Future<?>> runs = new ArrayList<>();
+            for (Cell cell : cells) {
+                runs.add(pool.submit(() -> {
+                    ExperimentRun run = ExperimentRun.of(scenario(cell), cell.policy, cell.seed, seconds -> {});
+                    append(run.json(cell.parameters()), total, progress);
                     return null;
                 }));
             }
-            for (Future<?> f : all) {
-                f.get();
+            for (Future<?> run : runs) {
+                run.get();
             }
         } catch (ExecutionException e) {
             throw new IOException("a run failed: " + e.getCause(), e.getCause());
         } finally {
             pool.shutdownNow();
         }
-        return left.size();
     }
 
-    private static Map<String, String> named(Cell c) {
-        Map<String, String> all = new LinkedHashMap<>();
-        all.put("cell", c.name());
-        all.putAll(c.set);
-        return all;
-    }
-
-    private static Set<String> there(Path results) throws IOException {
-        Set<String> all = new HashSet<>();
-        if (!Files.exists(results)) {
-            return all;
-        }
-        String text = Files.readString(results);
-        int whole = text.lastIndexOf('\n') + 1;
-        if (whole < text.length()) {
-            Files.writeString(results, text.substring(0, whole));
-        }
-        for (RunTable.Row r : RunTable.read(results)) {
-            all.add(r.text("cell"));
-        }
-        return all;
+    private synchronized void append(String json, int total, BiConsumer<Integer, Integer> progress) throws IOException {
+        Files.writeString(results, json + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        completedRuns++;
+        progress.accept(completedRuns, total);
     }
 }
--- a/src/main/java/elderseam/testkit/lab/WorstDaySearch.java
+++ b/src/main/java/elderseam/testkit/lab/WorstDaySearch.java
@@ -1,186 +1,172 @@
 package elderseam.testkit.lab;
 
 import elderseam.settings.SettingsFault;
-import elderseam.testkit.emulator.Scenario;
 import elderseam.testkit.emulator.ScenarioFile;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Searches for the day on which a policy does worst against one that knows all: troubles, floods, restarts and arrivals are added,
- * changed and taken away at random, and what widens the gap is kept (a hill climb, begun anew three times); the worst is then
- * shrunk: what can be left out, or made shorter, while nine tenths of the gap stay, is. One seed gives one day.
+ * Searches for the scenario in which a policy does worst against a reference policy: a random-restart hill climb over the troubles,
+ * floods and restarts that are added to a base scenario, by the gap in service between the two policies. The result is then reduced:
+ * parts are left out and values halved as long as nine tenths of the gap remain. One seed gives one result.
  */
 public final class WorstDaySearch {
-    /** The day as a scenario, its gap in service, and how many days were played. */
+    /**
+     * The result of a search.
+     *
+     * @param scenario lines of its file
+     * @param gap service of the reference policy less that of the policy
+     * @param policy service of the policy
+     * @param against service of the reference policy
+     * @param played how many candidates were evaluated
+     */
     public record Found(List<String> scenario, double gap, double policy, double against, int played) {}
 
-    /** A section by {@code kind name}, with its values. */
-    private record Part(String kind, String name, Map<String, String> values) {
-        Part copy() {
-            return new Part(kind, name, new LinkedHashMap<>(values));
-        }
-    }
+    /** Parts of a scenario, with the gap that they make. */
+    private record Candidate(List<ScenarioPart> parts, double gap) {}
 
     private static final int STARTS = 3;
-    private static final int MOST_PARTS = 6;
-    private static final double KEPT = 0.9;
+
+    /** Share of the gap that a reduced scenario must keep. */
+    private static final double KEPT_GAP_SHARE = 0.9;
+
+    private static final String FACTOR_KEY = "factor";
+
+    /** Keys whose values are halved to reduce a scenario. */
+    private static final List<String> REDUCIBLE_KEYS = List.of("for", FACTOR_KEY, "part");
+
+    /** A value below it is not reduced further; it is close to the two decimals of a value. */
+    private static final double MIN_REDUCED_VALUE = 0.02;
+
+    private static final double MIN_FACTOR = 1;
 
     private final List<String> base;
-    private final Scenario plan;
     private final String policy;
     private final String against;
     private final long seed;
-    private final UniformRandomProvider random;
+    private final ScenarioMutator mutator;
     private final Consumer<String> progress;
     private int played;
 
-    /** {@code base}: a scenario of fleet, kinds and clients, to which the days are added. */
+    /**
+     * Creates a search.
+     *
+     * @param file name of the base scenario's file, for messages
+     * @param base lines of a scenario with a fleet, kinds and clients, to which parts are added
+     * @param against the reference policy
+     * @param seed of the search and of each run
+     * @param progress receives a line for each improvement
+     */
     public WorstDaySearch(
             String file, List<String> base, String policy, String against, long seed, Consumer<String> progress)
             throws SettingsFault {
         this.base = base;
-        this.plan = ScenarioFile.of(file, base, Map.of());
         this.policy = policy;
         this.against = against;
         this.seed = seed;
-        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        this.mutator = new ScenarioMutator(ScenarioFile.of(file, base, Map.of()), seed);
         this.progress = progress;
     }
 
-    /** Plays so many days at the most, twice each. */
-    public Found search(int days) throws SettingsFault {
-        List<Part> worst = List.of();
-        double gap = gap(worst);
+    /**
+     * Runs the search on the caller's thread.
+     *
+     * @param maxDays about how many candidates to evaluate; two thirds of them for the climb, the rest to reduce its result. Each is
+     *     played with both policies
+     */
+    public Found search(int maxDays) throws SettingsFault {
+        Candidate worst = evaluate(List.of());
         for (int start = 0; start < STARTS; start++) {
-            List<Part> at = List.of();
-            double here = gap(at);
-            while (played < days * 2 / 3 * (start + 1) / STARTS) {
-                List<Part> next = changed(at);
-                double g = gap(next);
-                if (g > here) {
-                    at = next;
-                    here = g;
-                    progress.accept(
-                            String.format(Locale.ROOT, "day %d: gap %.4f with %d parts", played, here, at.size()));
-                }
-            }
-            if (here > gap) {
-                worst = at;
-                gap = here;
+            Candidate found = climb(maxDays * 2 / 3 * (start + 1) / STARTS);
+            if (found.gap > worst.gap) {
+                worst = found;
             }
         }
-        List<Part> small = shrunk(worst, gap, days);
-        double g = gap(small);
-        return new Found(text(small), g, service(small, policy), service(small, against), played);
+        Candidate reduced = evaluate(reduce(worst, maxDays));
+        return new Found(
+                lines(reduced.parts),
+                reduced.gap,
+                service(reduced.parts, policy),
+                service(reduced.parts, against),
+                played);
     }
 
-    private List<Part> shrunk(List<Part> worst, double gap, int days) throws SettingsFault {
-        List<Part> at = new ArrayList<>(worst);
-        for (int i = at.size() - 1; i >= 0 && played < days; i--) {
-            List<Part> without = new ArrayList<>(at);
-            without.remove(i);
-            if (gap(without) >= KEPT * gap) {
-                at = without;
-            }
-        }
-        for (int i = 0; i < at.size(); i++) {
-            for (String key : List.of("for", "factor", "part")) {
-                while (at.get(i).values.containsKey(key) && played < days) {
-                    List<Part> less = new ArrayList<>(at);
-                    Part p = at.get(i).copy();
-                    double half = Double.parseDouble(p.values.get(key)) / 2;
-                    p.values.put(key, value(key.equals("factor") ? Math.max(1, half) : half));
-                    less.set(i, p);
-                    if (half < 0.02 || (key.equals("factor") && half < 1) || gap(less) < KEPT * gap) {
-                        break;
-                    }
-                    at = less;
-                }
+    /** Climbs from the base scenario until so many candidates were evaluated in all. */
+    private Candidate climb(int playedLimit) throws SettingsFault {
+        Candidate current = evaluate(List.of());
+        while (played < playedLimit) {
+            Candidate next = evaluate(mutator.mutate(current.parts));
+            if (next.gap > current.gap) {
+                current = next;
+                progress.accept(String.format(
+                        Locale.ROOT, "day %d: gap %.4f with %d parts", played, current.gap, current.parts.size()));
             }
         }
-        return at;
+        return current;
     }
 
-    private static String value(double v) {
-        return String.format(Locale.ROOT, "%.2f", v);
-    }
-
-    private List<Part> changed(List<Part> from) {
-        List<Part> to = new ArrayList<>(from.stream().map(Part::copy).toList());
-        int what = random.nextInt(4);
-        if (to.isEmpty() || (what == 0 && to.size() < MOST_PARTS)) {
-            to.add(any());
-        } else if (what == 1 && to.size() > 1) {
-            to.remove(random.nextInt(to.size()));
-        } else {
-            Part p = to.get(random.nextInt(to.size()));
-            Part q = any(p.kind, p.name);
-            List<String> keys = List.copyOf(p.values.keySet());
-            String key = keys.get(random.nextInt(keys.size()));
-            p.values.put(key, q.values.get(key));
+    private List<ScenarioPart> reduce(Candidate worst, int maxDays) throws SettingsFault {
+        double keptGap = KEPT_GAP_SHARE * worst.gap;
+        List<ScenarioPart> reduced = removeParts(worst.parts, keptGap, maxDays);
+        for (int i = 0; i < reduced.size(); i++) {
+            for (String key : REDUCIBLE_KEYS) {
+                reduced = reduceValue(reduced, i, key, keptGap, maxDays);
+            }
         }
-        return to;
+        return reduced;
     }
 
-    private Part any() {
-        String[] kinds = {"trouble", "trouble", "trouble", "flood", "restart"};
-        return any(kinds[random.nextInt(kinds.length)], "f" + Long.toString(random.nextLong() >>> 1, 36));
+    private List<ScenarioPart> removeParts(List<ScenarioPart> parts, double keptGap, int maxDays) throws SettingsFault {
+        List<ScenarioPart> reduced = parts;
+        for (int i = parts.size() - 1; i >= 0 && played < maxDays; i--) {
+            List<ScenarioPart> without = new ArrayList<>(reduced);
+            without.remove(i);
+            if (evaluate(without).gap >= keptGap) {
+                reduced = without;
+            }
+        }
+        return reduced;
     }
 
-    private Part any(String kind, String name) {
-        Map<String, String> v = new LinkedHashMap<>();
-        double at = random.nextDouble() * plan.seconds() * 0.8;
-        v.put("at", value(at));
-        switch (kind) {
-            case "trouble" -> {
-                v.put("for", value(1 + random.nextDouble() * plan.seconds() / 3));
-                v.put(
-                        "kind",
-                        plan.kinds().get(random.nextInt(plan.kinds().size())).name());
-                v.put("part", value(0.1 + 0.9 * random.nextDouble()));
-                v.put("fault", Scenario.Fault.values()[random.nextInt(Scenario.Fault.values().length)].wireName());
-                v.put("factor", value(2 + 30 * random.nextDouble()));
-            }
-            case "flood" -> {
-                v.put("for", value(1 + random.nextDouble() * plan.seconds() / 3));
-                v.put(
-                        "tenant",
-                        Integer.toString(1 + random.nextInt(plan.clients().tenants())));
-                v.put("factor", value(1 + 9 * random.nextDouble()));
+    /** Halves one value of one part as often as the gap allows. */
+    private List<ScenarioPart> reduceValue(List<ScenarioPart> parts, int index, String key, double keptGap, int maxDays)
+            throws SettingsFault {
+        List<ScenarioPart> reduced = parts;
+        boolean isFactor = key.equals(FACTOR_KEY);
+        while (reduced.get(index).values().containsKey(key) && played < maxDays) {
+            ScenarioPart part = reduced.get(index);
+            double half = Double.parseDouble(part.values().get(key)) / 2;
+            if (half < MIN_REDUCED_VALUE || (isFactor && half < MIN_FACTOR)) {
+                break;
             }
-            default -> {
-                v.put("within", value(random.nextDouble() * 10));
-                v.put("part", value(0.1 + 0.9 * random.nextDouble()));
-                v.put("how", random.nextBoolean() ? "kill" : "term");
+            List<ScenarioPart> halved = new ArrayList<>(reduced);
+            halved.set(index, part.with(key, ScenarioMutator.format(half)));
+            if (evaluate(halved).gap < keptGap) {
+                break;
             }
+            reduced = halved;
         }
-        return new Part(kind, name, v);
+        return reduced;
     }
 
-    private List<String> text(List<Part> parts) {
-        List<String> all = new ArrayList<>(base);
-        for (Part p : parts) {
-            all.add("[" + p.kind + " " + p.name + "]");
-            p.values.forEach((k, v) -> all.add(k + " = " + v));
-        }
-        return all;
+    private Candidate evaluate(List<ScenarioPart> parts) throws SettingsFault {
+        played++;
+        double gap = service(parts, against) - service(parts, policy);
+        return new Candidate(parts, gap);
     }
 
-    private double service(List<Part> parts, String of) throws SettingsFault {
-        return ExperimentRun.of(ScenarioFile.of("found", text(parts), Map.of()), of, seed, s -> {})
+    private double service(List<ScenarioPart> parts, String playedPolicy) throws SettingsFault {
+        return ExperimentRun.of(ScenarioFile.of("found", lines(parts), Map.of()), playedPolicy, seed, seconds -> {})
                 .figures()
                 .get("service");
     }
 
-    private double gap(List<Part> parts) throws SettingsFault {
-        played++;
-        return service(parts, against) - service(parts, policy);
+    private List<String> lines(List<ScenarioPart> parts) {
+        List<String> lines = new ArrayList<>(base);
+        parts.forEach(part -> part.appendTo(lines));
+        return lines;
     }
 }
--- a/src/test/java/elderseam/testkit/lab/LabTest.java
+++ b/src/test/java/elderseam/testkit/lab/LabTest.java
@@ -32,131 +32,138 @@
             "for = 3",
             "fault = hang");
 
+    /** The lines of {@link #SMALL} up to its trouble. */
+    private static final List<String> WITHOUT_TROUBLE = SMALL.subList(0, 7);
+
+    private static final List<String> MODULE = List.of("module");
+
     @TempDir
     Path folder;
 
-    /** Cut off in the middle, torn at its end, and begun anew: each run is there once, and its figures are what they were. */
+    /** A results file that ends in an incomplete line is continued: each run is there once, with the figures that it had. */
     @Test
-    void aSweepGoesOnWhereItWas() throws Exception {
-        ParameterSweep sweep = new ParameterSweep("small", SMALL, folder.resolve("s"));
+    void anInterruptedSweepIsContinued() throws Exception {
+        Path sweepFolder = folder.resolve("s");
+        ParameterSweep sweep = new ParameterSweep("small", SMALL, sweepFolder);
         List<ParameterSweep.Cell> cells = ParameterSweep.cells(
                 Map.of("trouble.t.fault", List.of("hang", "fail")), List.of("module", "robin"), 1, 2);
         assertEquals(8, cells.size());
-        int[] last = new int[2];
-        assertEquals(8, sweep.run(cells, 4, (done, all) -> {
-            last[0] = done;
-            last[1] = all;
-        }));
-        assertEquals(8, last[0]);
-        Path file = folder.resolve("s/runs.jsonl");
-        List<String> whole = Files.readAllLines(file).stream().sorted().toList();
-        List<String> lines = Files.readAllLines(file);
-        Files.writeString(
-                file,
-                String.join("\n", lines.subList(0, 5)) + "\n" + lines.get(5).substring(0, 40));
+        int[] lastProgress = new int[2];
+        int firstRuns = sweep.run(cells, 4, (done, all) -> {
+            lastProgress[0] = done;
+            lastProgress[1] = all;
+        });
+        assertEquals(8, firstRuns);
+        assertEquals(8, lastProgress[0]);
+
+        Path results = sweepFolder.resolve("runs.jsonl");
+        List<String> lines = Files.readAllLines(results);
+        List<String> sortedLines = lines.stream().sorted().toList();
+        String completeLines = String.join("\n", lines.subList(0, 5)) + "\n";
+        String incompleteLine = lines.get(5).substring(0, 40);
+        Files.writeString(results, completeLines + incompleteLine);
+
         assertEquals(3, sweep.run(cells, 4, (done, all) -> {}));
-        assertEquals(whole, Files.readAllLines(file).stream().sorted().toList());
+        assertEquals(sortedLines, Files.readAllLines(results).stream().sorted().toList());
         assertEquals(0, sweep.run(cells, 1, (done, all) -> {}));
-        assertThrows(
-                IOException.class,
-                () -> new ParameterSweep("other", List.of("[kind k]"), folder.resolve("s"))
-                        .run(List.of(), 1, (done, all) -> {}));
-        String csv = RunTable.csv(RunTable.read(file));
-        assertTrue(
-                csv.startsWith("cell,trouble.t.fault,policy,seed,service,")
-                        && csv.lines().count() == 9,
-                csv);
+
+        ParameterSweep otherScenario = new ParameterSweep("other", List.of("[kind k]"), sweepFolder);
+        assertThrows(IOException.class, () -> otherScenario.run(List.of(), 1, (done, all) -> {}));
+
+        String csv = RunTable.csv(RunTable.read(results));
+        assertTrue(csv.startsWith("cell,trouble.t.fault,policy,seed,service,"), csv);
+        assertEquals(9, csv.lines().count(), csv);
     }
 
-    /** A value of the grid that can't be is told before any run. */
+    /** An invalid value anywhere in the grid is reported before any run. */
     @Test
-    void aGridIsCheckedWhole() {
+    void theWholeGridIsCheckedBeforeAnyRun() {
         ParameterSweep sweep = new ParameterSweep("small", SMALL, folder.resolve("t"));
-        assertThrows(
-                SettingsFault.class,
-                () -> sweep.run(
-                        ParameterSweep.cells(
-                                Map.of("trouble.t.fault", List.of("hang", "odd")), List.of("module"), 1, 1),
-                        1,
-                        (d, a) -> {}));
-        assertThrows(
-                SettingsFault.class,
-                () -> sweep.run(
-                        ParameterSweep.cells(Map.of("trouble.u.at", List.of("1")), List.of("module"), 1, 1),
-                        1,
-                        (d, a) -> {}));
+        List<ParameterSweep.Cell> unknownFault =
+                ParameterSweep.cells(Map.of("trouble.t.fault", List.of("hang", "odd")), MODULE, 1, 1);
+        assertThrows(SettingsFault.class, () -> sweep.run(unknownFault, 1, (done, all) -> {}));
+        List<ParameterSweep.Cell> unknownSection =
+                ParameterSweep.cells(Map.of("trouble.u.at", List.of("1")), MODULE, 1, 1);
+        assertThrows(SettingsFault.class, () -> sweep.run(unknownSection, 1, (done, all) -> {}));
         assertFalse(Files.exists(folder.resolve("t/runs.jsonl")));
     }
 
-    /** A difference that is there is told, one that is not is noise, and few pairs are noise whatever they say. */
+    /** A real difference is reported, chance is noise, and few pairs are noise whatever they show. */
     @Test
-    void differencesAndNoise() {
-        Random r = new Random(1);
-        double[] a = new double[30];
+    void realDifferencesAreToldFromNoise() {
+        Random random = new Random(1);
+        double[] base = new double[30];
         double[] same = new double[30];
         double[] more = new double[30];
-        for (int i = 0; i < a.length; i++) {
-            a[i] = r.nextDouble();
-            same[i] = a[i] + 0.1 * r.nextGaussian();
-            more[i] = a[i] + 0.1 + 0.1 * r.nextGaussian();
+        for (int i = 0; i < base.length; i++) {
+            base[i] = random.nextDouble();
+            same[i] = base[i] + 0.1 * random.nextGaussian();
+            more[i] = base[i] + 0.1 + 0.1 * random.nextGaussian();
         }
-        PairedComparison none = PairedComparison.of(a, same);
-        PairedComparison some = PairedComparison.of(a, more);
-        assertTrue(none.noise() && none.low() < 0 && none.high() > 0, none.words());
-        assertTrue(
-                !some.noise()
-                        && some.low() > 0.03
-                        && some.high() < 0.17
-                        && some.words().endsWith("more"),
-                some.words());
-        assertEquals(some, PairedComparison.of(a, more), "its resamples have a seed of their own");
-        assertTrue(PairedComparison.of(new double[] {0, 0}, new double[] {1, 1}).noise());
-        assertThrows(IllegalArgumentException.class, () -> PairedComparison.of(a, new double[2]));
+        PairedComparison chance = PairedComparison.of(base, same);
+        assertTrue(chance.isNoise(), chance.format());
+        assertTrue(chance.low() < 0 && chance.high() > 0, chance.format());
+
+        PairedComparison real = PairedComparison.of(base, more);
+        assertFalse(real.isNoise(), real.format());
+        assertTrue(real.low() > 0.03 && real.high() < 0.17, real.format());
+        assertTrue(real.format().endsWith("more"), real.format());
+        assertEquals(real, PairedComparison.of(base, more), "the resampling has a fixed seed");
+
+        PairedComparison twoPairs = PairedComparison.of(new double[] {0, 0}, new double[] {1, 1});
+        assertTrue(twoPairs.isNoise());
+        assertThrows(IllegalArgumentException.class, () -> PairedComparison.of(base, new double[2]));
     }
 
-    /** How often the interval of two samples of one kind misses 0: about one in twenty. */
+    /** The interval of two samples of one distribution misses 0 about once in twenty times. */
     @Test
-    void theIntervalIsHonest() {
-        Random r = new Random(2);
+    void theIntervalCoversAboutNineteenInTwenty() {
+        Random random = new Random(2);
         int missed = 0;
-        for (int n = 0; n < 200; n++) {
-            double[] a = r.doubles(25).toArray();
-            double[] b = r.doubles(25).toArray();
-            missed += PairedComparison.of(a, b).noise() ? 0 : 1;
+        for (int i = 0; i < 200; i++) {
+            double[] a = random.doubles(25).toArray();
+            double[] b = random.doubles(25).toArray();
+            if (!PairedComparison.of(a, b).isNoise()) {
+                missed++;
+            }
         }
         assertTrue(missed >= 3 && missed <= 24, missed + " of 200");
     }
 
-    /** The day that it finds is a scenario, worse than the calm one, and one seed finds the same. */
+    /** The result is a valid scenario, worse than the calm one, and the same for the same seed. */
     @Test
-    void aWorstDayIsFoundAndShrunk() throws Exception {
-        List<String> calm = SMALL.subList(0, 7);
-        WorstDaySearch.Found f = new WorstDaySearch("small", calm, "robin", "oracle", 1, words -> {}).search(60);
-        assertTrue(f.gap() > 0.1 && f.played() <= 62, f.toString());
-        Scenario plan = ScenarioFile.of("found", f.scenario(), Map.of());
-        assertTrue(
-                plan.troubles().size() + plan.floods().size() + plan.restarts().size() > 0);
-        double robin = ExperimentRun.of(plan, "robin", 1, s -> {}).figures().get("service");
-        double oracle = ExperimentRun.of(plan, "oracle", 1, s -> {}).figures().get("service");
-        assertEquals(f.gap(), oracle - robin, 1e-9);
-        assertEquals(
-                f.scenario(),
-                new WorstDaySearch("small", calm, "robin", "oracle", 1, words -> {})
-                        .search(60)
-                        .scenario());
+    void theWorstDayIsFoundAndReduced() throws Exception {
+        WorstDaySearch.Found found = searchWorstDay();
+        assertTrue(found.gap() > 0.1 && found.played() <= 62, found.toString());
+        Scenario scenario = ScenarioFile.of("found", found.scenario(), Map.of());
+        int parts = scenario.troubles().size()
+                + scenario.floods().size()
+                + scenario.restarts().size();
+        assertTrue(parts > 0);
+        double robin = run(scenario, "robin").figures().get("service");
+        double oracle = run(scenario, "oracle").figures().get("service");
+        assertEquals(found.gap(), oracle - robin, 1e-9);
+        assertEquals(found.scenario(), searchWorstDay().scenario());
+    }
+
+    private static WorstDaySearch.Found searchWorstDay() throws SettingsFault {
+        return new WorstDaySearch("small", WITHOUT_TROUBLE, "robin", "oracle", 1, line -> {}).search(60);
+    }
+
+    private static ExperimentRun run(Scenario scenario, String policy) {
+        return ExperimentRun.of(scenario, policy, 1, seconds -> {});
     }
 
-    /** One page that needs nothing else, with what was done to the world on it. */
+    /** The report is one page that loads nothing, and shows what was done to the world. */
     @Test
-    void theReportStandsAlone() throws Exception {
-        Scenario plan = ScenarioFile.of("small", SMALL, Map.of());
-        String page = HtmlReport.page(
-                plan,
-                List.of(ExperimentRun.of(plan, "module", 1, s -> {}), ExperimentRun.of(plan, "robin", 1, s -> {})));
-        assertTrue(page.startsWith("<!doctype html>") && page.endsWith("</body></html>\n"));
-        assertTrue(page.contains("data:image/png;base64,")
-                && page.contains("bank hang")
-                && page.contains("robin, seed 1"));
-        assertFalse(page.contains("http://") || page.contains("https://"), "nothing is fetched");
+    void theReportIsSelfContained() throws Exception {
+        Scenario scenario = ScenarioFile.of("small", SMALL, Map.of());
+        String page = HtmlReport.page(scenario, List.of(run(scenario, "module"), run(scenario, "robin")));
+        assertTrue(page.startsWith("<!doctype html>"));
+        assertTrue(page.endsWith("</body></html>\n"));
+        assertTrue(page.contains("data:image/png;base64,"));
+        assertTrue(page.contains("bank hang"));
+        assertTrue(page.contains("robin, seed 1"));
+        assertFalse(page.contains("http://") || page.contains("https://"), "nothing is loaded");
     }
 }
