--- a/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselineDispatcher.java
@@ -87,7 +87,7 @@
         if (known != null) {
             return null;
         }
-        if (closing || held.size() >= place.plan().fleet().held() || !endpoints.containsKey(m.destination())) {
+        if (closing || held.size() >= place.plan().fleet().maxHeld() || !endpoints.containsKey(m.destination())) {
             return FinalOutcome.rejected(Policies.AGAIN_NS);
         }
         Held h = new Held(m);
@@ -154,7 +154,7 @@
         }
         if (end.status() == Status.DELIVERED) {
             end(h, FinalOutcome.DELIVERED);
-        } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().attempts()) {
+        } else if (!mayRepeat(h, now) || h.attempts >= place.plan().fleet().maxAttempts()) {
             end(h, h.maybeRan ? FinalOutcome.FAILED : FinalOutcome.rejected(Policies.AGAIN_NS));
         } else {
             place.at(
--- a/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
+++ b/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
@@ -52,7 +52,9 @@
         this.upTo = new double[order.length];
         double sum = 0;
         for (int i = 0; i < order.length; i++) {
-            sum += order[i].kind.perS() * order[i].kind.load() * plan.clients().scale();
+            sum += order[i].kind.callsPerSecond()
+                    * order[i].kind.load()
+                    * plan.clients().scale();
             upTo[i] = sum;
         }
         double mix = 0;
@@ -79,7 +81,7 @@
     private double floods(long now) {
         double more = 0;
         for (Scenario.Flood f : plan.floods()) {
-            more += now >= f.at() * S && now < (f.at() + f.lasts()) * S
+            more += now >= f.start() * S && now < f.end() * S
                     ? (f.factor() - 1) / plan.clients().tenants()
                     : 0;
         }
@@ -88,15 +90,15 @@
 
     /** Messages a second that are wanted now. */
     private double rate(long now) {
-        double rate = plan.rate() * (1 + floods(now));
+        double rate = plan.requestRate() * (1 + floods(now));
         return switch (plan.clients().arrivals()) {
             case BURSTY ->
                 rate
                         * (bursting
-                                ? plan.clients().burst()
+                                ? plan.clients().burstFactor()
                                 : Math.max(
-                                        0.05, (1 - BURST_SHARE * plan.clients().burst()) / (1 - BURST_SHARE)));
-            case CLUMPED -> rate / plan.clients().clump();
+                                        0.05, (1 - BURST_SHARE * plan.clients().burstFactor()) / (1 - BURST_SHARE)));
+            case CLUMPED -> rate / plan.clients().clumpSize();
             case DIURNAL -> { // the plan's length is a day, least at its ends; month-end doubles the afternoon
                 double day = now / (plan.seconds() * S);
                 yield rate * (1 - Math.cos(2 * Math.PI * day)) * (plan.clients().monthEnd() && day > 0.5 ? 2 : 1);
@@ -117,7 +119,7 @@
         world.time.at(at, () -> {
             if (comes) {
                 int n = plan.clients().arrivals() == Scenario.Arrivals.CLUMPED
-                        ? plan.clients().clump()
+                        ? plan.clients().clumpSize()
                         : 1;
                 EmulatedDestination d = destination();
                 for (int i = 0; i < n; i++) {
@@ -158,7 +160,7 @@
         }
         draw -= 1;
         for (Scenario.Flood f : plan.floods()) {
-            if (now >= f.at() * S && now < (f.at() + f.lasts()) * S) {
+            if (now >= f.start() * S && now < f.end() * S) {
                 draw -= (f.factor() - 1) / tenants;
                 if (draw < 0) {
                     return (f.tenant() - 1) % tenants;
@@ -232,7 +234,7 @@
         long window = Policies.CLASSES.get(o.m.cls()).keyWindowNs();
         boolean past = window > 0
                 && at >= o.m.born() + window; // a repeat would no longer be dropped, as the platform's clients know
-        if (past || at >= o.m.deadline() || o.tries > plan.clients().retries()) {
+        if (past || at >= o.m.deadline() || o.tries > plan.clients().maxRetries()) {
             end(o, FinalOutcome.Kind.REJECTED);
         } else {
             world.time.at(at, () -> hand(o));
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -91,7 +91,7 @@
     /** Calls a second that it stands now. */
     double stands(long now) {
         double warm = kind.coldMs() == 0 ? 1 : Math.min(1, (double) (now - warmFrom) / (kind.coldMs() * MS));
-        return kind.perS() * (kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, warm));
+        return kind.callsPerSecond() * (kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, warm));
     }
 
     /** Room for one more call now, taken; or how long until there is: of all dispatchers together, for the policy that knows all. */
@@ -107,7 +107,7 @@
     }
 
     private double burst() {
-        return Math.max(4, kind.perS() / 4);
+        return Math.max(4, kind.callsPerSecond() / 4);
     }
 
     /** A call has come to an endpoint. */
@@ -127,7 +127,13 @@
                 }
                 case SHUT -> {
                     return new Reply(
-                            Progress.ANSWERED, Status.OVERLOADED, 5 * MS, kind.told() ? s.to - now : 0, 0, 0, -1);
+                            Progress.ANSWERED,
+                            Status.OVERLOADED,
+                            5 * MS,
+                            kind.sendsRetryAfter() ? s.to - now : 0,
+                            0,
+                            0,
+                            -1);
                 }
                 case HANG -> { // half of what hangs was acted on
                     return Reply.of(
@@ -151,13 +157,19 @@
         long wait = limited(now);
         if (wait > 0) {
             return new Reply(
-                    Progress.ANSWERED, Status.OVERLOADED, 5 * MS, kind.told() ? wait : 0, 0, reported(m, attempt), -1);
+                    Progress.ANSWERED,
+                    Status.OVERLOADED,
+                    5 * MS,
+                    kind.sendsRetryAfter() ? wait : 0,
+                    0,
+                    reported(m, attempt),
+                    -1);
         }
         long queued = kind.slots() == 0 ? 0 : queued(now, busy.get(endpoint), service);
         if (queued < 0) {
             return Reply.of(Status.NO_SLOT, 2 * MS, -1);
         }
-        if (RandomStreams.unit(seed, m.id(), attempt, 4) < kind.errors()) {
+        if (RandomStreams.unit(seed, m.id(), attempt, 4) < kind.errorShare()) {
             return Reply.of(Status.ERROR, ERROR_NS, -1);
         }
         return new Reply(
@@ -175,13 +187,13 @@
         if (now - warmFrom >= kind.coldMs() * MS) {
             return false;
         }
-        double fells = kind.fallMultiple() * stands(now);
+        double fells = kind.collapseMultiple() * stands(now);
         load = Math.max(0, load - Math.max(0, now - loadAt) / (double) S * fells) + 1;
         loadAt = now;
         if (load <= Math.max(CHANCE, fells)) {
             return false;
         }
-        downUntil = now + kind.fallMs() * MS;
+        downUntil = now + kind.collapseMs() * MS;
         returns(downUntil);
         watcher.felled(now, id);
         return true;
@@ -191,18 +203,18 @@
     private long limited(long now) {
         switch (kind.limit()) {
             case RATE -> {
-                bucket = Math.min(burst(), bucket + Math.max(0, now - bucketAt) / (double) S * kind.perS());
+                bucket = Math.min(burst(), bucket + Math.max(0, now - bucketAt) / (double) S * kind.callsPerSecond());
                 bucketAt = Math.max(bucketAt, now);
                 boolean passes = bucket >= 1;
-                bucket -= passes ? 1 : kind.refusedCount() ? Math.min(1, bucket + burst()) : 0;
-                return passes ? 0 : Math.max(50 * MS, (long) ((1 - bucket) / kind.perS() * S));
+                bucket -= passes ? 1 : kind.countsRefusedCalls() ? Math.min(1, bucket + burst()) : 0;
+                return passes ? 0 : Math.max(50 * MS, (long) ((1 - bucket) / kind.callsPerSecond() * S));
             }
             case WINDOW -> {
                 long number = now / (kind.windowMs() * MS);
                 inWindow = number == window ? inWindow : 0;
                 window = number;
-                boolean passes = inWindow < Math.max(1, kind.perS() * kind.windowMs() / 1_000);
-                inWindow += passes || kind.refusedCount() ? 1 : 0;
+                boolean passes = inWindow < Math.max(1, kind.callsPerSecond() * kind.windowMs() / 1_000);
+                inWindow += passes || kind.countsRefusedCalls() ? 1 : 0;
                 return passes ? 0 : Math.max(MS, (number + 1) * kind.windowMs() * MS - now);
             }
             default -> {
@@ -216,7 +228,7 @@
         while (!ends.isEmpty() && ends.peek() <= now) {
             ends.poll();
         }
-        if (ends.size() >= kind.slots() + kind.queue()) {
+        if (ends.size() >= kind.slots() + kind.queueLength()) {
             return -1;
         }
         long start = now;
@@ -230,12 +242,13 @@
     }
 
     private double left() {
-        return kind.report() ? Math.max(0.001, Math.min(1, bucket / burst())) : 0;
+        return kind.reportsLimit() ? Math.max(0.001, Math.min(1, bucket / burst())) : 0;
     }
 
     private double reported(Msg m, int attempt) {
-        return kind.report()
-                ? kind.perS() * Math.max(0.1, 1 + kind.reportNoise() * RandomStreams.normal(seed, m.id(), attempt, 7))
+        return kind.reportsLimit()
+                ? kind.callsPerSecond()
+                        * Math.max(0.1, 1 + kind.reportNoise() * RandomStreams.normal(seed, m.id(), attempt, 7))
                 : 0;
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -111,7 +111,7 @@
             }
             watcher.called(time.now(), dispatcher, m, name);
             left = true;
-            boolean lost = plan.loss() > 0 && RandomStreams.unit(seed, m.id(), number, 13) < plan.loss();
+            boolean lost = plan.lossShare() > 0 && RandomStreams.unit(seed, m.id(), number, 13) < plan.lossShare();
             boolean after = lost && RandomStreams.unit(seed, m.id(), number, 14) < 0.5;
             long way = delay(m.id(), number, 15);
             if (lost && !after) {
--- a/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -151,12 +151,13 @@
                         destinations.size() + 1, plan.kinds().get(k), seed, watcher);
                 destinations.put(d.id, d);
                 for (String e : d.endpoints) {
-                    listed.put(e, new ListedEndpoint(e, d.id, k, 0, EndpointStatus.READY, d.kind.perS()));
+                    listed.put(e, new ListedEndpoint(e, d.id, k, 0, EndpointStatus.READY, d.kind.callsPerSecond()));
                 }
-                if (draws.of("wrong").nextDouble() < plan.discovery().wrong()) {
+                if (draws.of("wrong").nextDouble() < plan.discovery().wrongShare()) {
                     listed.put(
                             "wrong" + d.id,
-                            new ListedEndpoint("wrong" + d.id, d.id, k, 0, EndpointStatus.READY, d.kind.perS()));
+                            new ListedEndpoint(
+                                    "wrong" + d.id, d.id, k, 0, EndpointStatus.READY, d.kind.callsPerSecond()));
                 }
             }
         }
@@ -210,7 +211,7 @@
 
     /** A dispatcher that takes clients on, or null. */
     Seat any(UniformRandomProvider r) {
-        double hot = plan.fleet().hot();
+        double hot = plan.fleet().hotFactor();
         int from = hot > 1 && r.nextDouble() * (seats.size() - 1 + hot) < hot - 1 ? 0 : r.nextInt(seats.size());
         for (int i = 0; i < seats.size(); i++) {
             Seat s = seats.get((from + i) % seats.size());
@@ -244,10 +245,10 @@
 
     private void troubles() {
         for (Scenario.Trouble t : plan.troubles()) {
-            long from = (long) (t.at() * S);
-            long to = (long) ((t.at() + t.lasts()) * S);
-            for (EmulatedDestination d : part(t.kind(), t.part(), t.name())) {
-                d.trouble(from, to, t.fault(), t.factor());
+            long from = (long) (t.start() * S);
+            long to = (long) (t.end() * S);
+            for (EmulatedDestination d : part(t.kind(), t.share(), t.name())) {
+                d.trouble(from, to, t.fault(), t.slowdown());
                 time.at(from, () -> watcher.trouble(time.now(), d.id, true));
                 time.at(to, () -> {
                     if (t.fault() != Scenario.Fault.SLOW) {
@@ -261,10 +262,10 @@
 
     private void drains() {
         for (Scenario.Drain drain : plan.drains()) {
-            for (EmulatedDestination d : part(drain.kind(), drain.part(), drain.name())) {
+            for (EmulatedDestination d : part(drain.kind(), drain.share(), drain.name())) {
                 String e = d.endpoints[0];
-                time.at((long) (drain.at() * S), () -> listing(e, EndpointStatus.DRAINING));
-                time.at((long) (drain.at() * S) + DRAIN_NS, () -> listing(e, EndpointStatus.GONE));
+                time.at((long) (drain.start() * S), () -> listing(e, EndpointStatus.DRAINING));
+                time.at((long) (drain.start() * S) + DRAIN_NS, () -> listing(e, EndpointStatus.GONE));
             }
         }
     }
@@ -281,9 +282,9 @@
             listed.put(endpoint, now);
         }
         for (Seat s : seats) {
-            long at = time.now() + (long) (plan.discovery().lateMs() * MS);
-            long downFrom = (long) (plan.discovery().downAt() * S);
-            long downTo = downFrom + (long) (plan.discovery().downFor() * S);
+            long at = time.now() + (long) (plan.discovery().delayMs() * MS);
+            long downFrom = (long) (plan.discovery().downStart() * S);
+            long downTo = downFrom + (long) (plan.discovery().downDuration() * S);
             time.at(at >= downFrom && at < downTo ? downTo : at, () -> {
                 if (s.up) {
                     s.instance.hosts(ListUpdateKind.CHANGES, List.of(now));
@@ -302,10 +303,10 @@
     private void restarts() {
         for (Scenario.Restart r : plan.restarts()) {
             List<Seat> order = shuffled(seats, "restart " + r.name());
-            int n = (int) Math.max(1, Math.round(r.part() * order.size()));
+            int n = (int) Math.max(1, Math.round(r.share() * order.size()));
             for (int i = 0; i < n; i++) {
                 Seat s = order.get(i);
-                long at = (long) ((r.at() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S);
+                long at = (long) ((r.start() + (n == 1 ? 0 : r.within() * i / (n - 1))) * S);
                 long down = (long) (r.downMs() * MS);
                 time.at(at, () -> {
                     if (!s.up) {
--- a/src/main/java/elderseam/testkit/emulator/Policies.java
+++ b/src/main/java/elderseam/testkit/emulator/Policies.java
@@ -68,15 +68,15 @@
 
     static PolicySettings settings(Scenario p) {
         Scenario.Kind first = p.kinds().get(0);
-        boolean told = p.kinds().stream().anyMatch(Scenario.Kind::report);
+        boolean told = p.kinds().stream().anyMatch(Scenario.Kind::reportsLimit);
         return new PolicySettings(
                 CLASSES,
                 p.kinds().stream().map(k -> new DestinationKind(false, 1)).toList(),
                 java.util.Collections.nCopies(
-                        p.clients().tenants(), p.rate() / p.clients().tenants() * 1.3),
+                        p.clients().tenants(), p.requestRate() / p.clients().tenants() * 1.3),
                 p.fleet().slots(),
-                p.fleet().held(),
-                p.fleet().attempts(),
+                p.fleet().maxHeld(),
+                p.fleet().maxAttempts(),
                 p.fleet().dispatchers(),
                 0,
                 true,
@@ -89,8 +89,8 @@
                 2 * S,
                 first.coldShare(),
                 first.coldMs() * MS,
-                first.fallMultiple(),
-                first.fallMs() * MS,
+                first.collapseMultiple(),
+                first.collapseMs() * MS,
                 100 * MS,
                 new ConnectionSettings(Math.max(first.idleMs(), 0) * MS, 1, 1_500 * MS),
                 new PriceSettings(0, 0, List.of()));
--- a/src/main/java/elderseam/testkit/emulator/Scenario.java
+++ b/src/main/java/elderseam/testkit/emulator/Scenario.java
@@ -2,7 +2,12 @@
 
 import java.util.List;
 
-/** All of an experiment but its seed and its policy. Times are seconds from the start unless they say otherwise. */
+/**
+ * Everything that defines an experiment except its seed and its policy. Times are seconds from the start, durations seconds, and shares
+ * lie between 0 and 1, unless a name or comment says otherwise. {@link ScenarioFile} reads it from a file.
+ *
+ * @param seconds how long clients submit requests; the run goes on until the last of them has ended
+ */
 public record Scenario(
         String name,
         double seconds,
@@ -16,10 +21,15 @@
         Network network,
         Discovery discovery) {
     /**
-     * {@code slots}: calls out at once, each; {@code held}: messages held at most, each; {@code connections}: what an endpoint takes of
-     * all dispatchers, by which subsets are sized, 0 where nobody knows; {@code hot}: how many times the others' traffic the first has.
+     * The dispatchers.
+     *
+     * @param slots calls that one dispatcher may have in flight
+     * @param maxHeld requests that one dispatcher may hold
+     * @param maxAttempts attempts for one request
+     * @param connections connections that an endpoint accepts from all dispatchers, by which subsets are sized; 0 if unknown
+     * @param hotFactor how many times the others' traffic the first dispatcher receives
      */
-    public record Fleet(int dispatchers, int slots, int held, int attempts, int connections, double hot) {}
+    public record Fleet(int dispatchers, int slots, int maxHeld, int maxAttempts, int connections, double hotFactor) {}
 
     /** An enumeration whose constants stand in scenario files and reports. */
     public interface WireNamed {
@@ -27,9 +37,13 @@
         String wireName();
     }
 
+    /** How a destination limits the calls of all dispatchers together. */
     public enum Limit implements WireNamed {
+        /** No limit. */
         NONE("none"),
+        /** A token bucket. */
         RATE("rate"),
+        /** A number of calls in each fixed window of time. */
         WINDOW("window");
 
         private final String wireName;
@@ -45,42 +59,70 @@
     }
 
     /**
-     * Destinations of one kind. {@code perS}: calls a second that each takes of all; {@code told}: it says how long to stay away;
-     * {@code refusedCount}: refused calls count against the limit; {@code slots}: calls at once of each endpoint (0: any), and
-     * {@code queue} more that wait; {@code report}: answers tell what is left of the limit, so late and off by such a share.
+     * Destinations of one kind.
+     *
+     * @param destinations how many there are
+     * @param endpoints of each destination
+     * @param callsPerSecond that each destination accepts from all dispatchers
+     * @param windowMs length of a window, with {@link Limit#WINDOW}
+     * @param sendsRetryAfter whether refusals say how long to stay away
+     * @param countsRefusedCalls whether refused calls count against the limit
+     * @param slots calls that each endpoint serves at once; 0 for any number
+     * @param queueLength calls that wait at each endpoint when its slots are taken
+     * @param serviceMs mean service time
+     * @param spread sigma of the log-normal distribution of service times
+     * @param errorShare share of served calls that fail
+     * @param connectMs time to open a connection, besides the network's delays
+     * @param idleMs after how long an idle connection is closed
+     * @param reportsLimit whether responses report what is left of the limit
+     * @param reportNoise relative standard deviation of the reported limit
+     * @param coldShare share of its calls that a destination stands right after a trouble
+     * @param coldMs how long it then takes to stand all of them
+     * @param collapseMultiple while cold, it collapses under more than this multiple of the calls that it stands
+     * @param collapseMs how long a collapse lasts
+     * @param load share of its calls that clients ask for
      */
     public record Kind(
             String name,
             int destinations,
             int endpoints,
-            double perS,
+            double callsPerSecond,
             Limit limit,
             int windowMs,
-            boolean told,
-            boolean refusedCount,
+            boolean sendsRetryAfter,
+            boolean countsRefusedCalls,
             int slots,
-            int queue,
+            int queueLength,
             double serviceMs,
             double spread,
-            double errors,
+            double errorShare,
             double connectMs,
             int idleMs,
-            boolean report,
+            boolean reportsLimit,
             double reportNoise,
             double coldShare,
             int coldMs,
-            double fallMultiple,
-            int fallMs,
+            double collapseMultiple,
+            int collapseMs,
             double load) {}
 
+    /** What is wrong with a destination during a trouble. */
     public enum Fault implements WireNamed {
+        /** Connections are refused. */
         FAIL("fail"),
+        /** Every call is answered with an error. */
         ERRORS("errors"),
+        /** Every call is refused, until the end of the trouble. */
         SHUT("shut"),
+        /** No call is answered; half of them are executed. */
         HANG("hang"),
+        /** Service takes longer. */
         SLOW("slow"),
+        /** As {@link #FAIL}, every other second. */
         FLAP("flap"),
+        /** Connections are neither accepted nor refused. */
         SILENT("silent"),
+        /** Every call is executed, none is answered. */
         HALF_OPEN("half_open");
 
         private final String wireName;
@@ -95,13 +137,29 @@
         }
     }
 
-    /** {@code part}: share of the kind's destinations that it meets; {@code factor}: how much slower. */
-    public record Trouble(String name, String kind, double part, double at, double lasts, Fault fault, double factor) {}
+    /**
+     * A fault of some destinations of a kind.
+     *
+     * @param share of the kind's destinations
+     * @param slowdown factor of service times, with {@link Fault#SLOW}
+     */
+    public record Trouble(
+            String name, String kind, double share, double start, double duration, Fault fault, double slowdown) {
+        /** When it ends. */
+        public double end() {
+            return start + duration;
+        }
+    }
 
+    /** How requests arrive over time. */
     public enum Arrivals implements WireNamed {
+        /** Independently, at a constant rate. */
         POISSON("poisson"),
+        /** At a higher rate a tenth of the time. */
         BURSTY("bursty"),
+        /** Several at a time, for one destination. */
         CLUMPED("clumped"),
+        /** At a rate that rises and falls once, as over a day. */
         DIURNAL("diurnal");
 
         private final String wireName;
@@ -117,23 +175,43 @@
     }
 
     /**
-     * {@code mix}: of status updates, job orders and rent payments; {@code clump}: messages in one; {@code burst}: how many times the
-     * usual rate a burst has, a tenth of the time; {@code retries}: how often a refused message is handed in again.
+     * The clients.
+     *
+     * @param scale factor of the load of all kinds
+     * @param mix relative frequency of each class of {@link Policies#CLASSES}
+     * @param clumpSize requests that arrive at once, with {@link Arrivals#CLUMPED}
+     * @param burstFactor of the rate in a burst, with {@link Arrivals#BURSTY}
+     * @param maxRetries how often a rejected request is submitted again
+     * @param monthEnd with {@link Arrivals#DIURNAL}, whether the second half of the day has twice the requests
      */
     public record Clients(
             Arrivals arrivals,
             double scale,
             int tenants,
             double[] mix,
-            int clump,
-            double burst,
-            int retries,
+            int clumpSize,
+            double burstFactor,
+            int maxRetries,
             boolean monthEnd) {}
 
-    public record Flood(String name, int tenant, double factor, double at, double lasts) {}
+    /**
+     * A time in which one tenant submits more than usual.
+     *
+     * @param tenant counted from 1
+     * @param factor of the tenant's usual rate
+     */
+    public record Flood(String name, int tenant, double factor, double start, double duration) {
+        /** When it ends. */
+        public double end() {
+            return start + duration;
+        }
+    }
 
+    /** How a dispatcher's process ends. */
     public enum How implements WireNamed {
+        /** At once. */
         KILL("kill"),
+        /** After a shutdown in which it ends what it holds. */
         TERM("term");
 
         private final String wireName;
@@ -148,27 +226,47 @@
         }
     }
 
-    /** A {@code part} of the dispatchers within so many seconds, one after the other; each is away for that long. */
-    public record Restart(String name, double at, double within, double part, How how, double downMs) {}
+    /**
+     * Some dispatchers are restarted one after the other.
+     *
+     * @param within how long after the start the last one is stopped
+     * @param share of the dispatchers
+     * @param downMs between the end of a process and its successor
+     */
+    public record Restart(String name, double start, double within, double share, How how, double downMs) {}
 
-    /** Endpoints that are listed as draining, and gone 5 s later. */
-    public record Drain(String name, String kind, double part, double at) {}
+    /** One endpoint of some destinations of a kind is listed as draining, and a few seconds later as gone. */
+    public record Drain(String name, String kind, double share, double start) {}
 
-    /** Each way; {@code loss}: share of calls whose connection dies, half of them after the request has gone. */
-    public record Network(double delayMs, double jitterMs, double loss) {}
+    /**
+     * The network between dispatchers and endpoints.
+     *
+     * @param delayMs minimum delay in each direction
+     * @param jitterMs maximum of the random delay that is added
+     * @param lossShare share of calls whose connection breaks, half of them after the request was received
+     */
+    public record Network(double delayMs, double jitterMs, double lossShare) {}
 
-    /** News of the list come so late, and not at all in a time; {@code wrong}: share of endpoints listed that nobody serves. */
-    public record Discovery(double lateMs, double downAt, double downFor, double wrong) {}
+    /**
+     * The source of the endpoint list.
+     *
+     * @param delayMs after which dispatchers learn of a change
+     * @param downStart start of an outage in which they learn of none
+     * @param downDuration length of the outage
+     * @param wrongShare share of destinations with one listed endpoint that does not exist
+     */
+    public record Discovery(double delayMs, double downStart, double downDuration, double wrongShare) {}
 
-    /** Calls a second that the destinations' load asks for, before floods. */
-    public double rate() {
+    /** Requests a second that clients submit on average, without floods. */
+    public double requestRate() {
         return clients.scale
                 * kinds.stream()
-                        .mapToDouble(k -> k.destinations * k.perS * k.load)
+                        .mapToDouble(kind -> kind.destinations * kind.callsPerSecond * kind.load)
                         .sum();
     }
 
-    public int destinations() {
+    /** Number of destinations of all kinds. */
+    public int destinationCount() {
         return kinds.stream().mapToInt(Kind::destinations).sum();
     }
 }
--- a/src/main/java/elderseam/testkit/lab/HtmlReport.java
+++ b/src/main/java/elderseam/testkit/lab/HtmlReport.java
@@ -60,15 +60,14 @@
         List<ChartRenderer.Band> bands = new ArrayList<>();
         for (Scenario.Trouble trouble : scenario.troubles()) {
             String label = trouble.kind() + " " + trouble.fault().wireName();
-            double end = trouble.at() + trouble.lasts();
-            bands.add(new ChartRenderer.Band(trouble.at(), end, label, TROUBLE_COLOUR));
+            bands.add(new ChartRenderer.Band(trouble.start(), trouble.end(), label, TROUBLE_COLOUR));
         }
         for (Scenario.Flood flood : scenario.floods()) {
-            bands.add(new ChartRenderer.Band(flood.at(), flood.at() + flood.lasts(), "flood", FLOOD_COLOUR));
+            bands.add(new ChartRenderer.Band(flood.start(), flood.end(), "flood", FLOOD_COLOUR));
         }
         for (Scenario.Restart restart : scenario.restarts()) {
-            double end = restart.at() + restart.within() + restart.downMs() / MILLIS_PER_SECOND;
-            bands.add(new ChartRenderer.Band(restart.at(), end, restart.how().wireName(), RESTART_COLOUR));
+            double end = restart.start() + restart.within() + restart.downMs() / MILLIS_PER_SECOND;
+            bands.add(new ChartRenderer.Band(restart.start(), end, restart.how().wireName(), RESTART_COLOUR));
         }
         return bands;
     }
@@ -91,8 +90,8 @@
                 Locale.ROOT,
                 "%d dispatchers, %d destinations, about %.0f messages a second for %.0f s",
                 scenario.fleet().dispatchers(),
-                scenario.destinations(),
-                scenario.rate(),
+                scenario.destinationCount(),
+                scenario.requestRate(),
                 scenario.seconds());
     }
 
