Emulator: listener, rule checkers and statistics in terms of requests and attempts

The listener's events had one-word names, and a null kind or a class of -1 stood for a lost request and an answer that nobody waits for; both are events of their own now. Rule and figure names in output are unchanged.

--- a/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
+++ b/src/main/java/elderseam/testkit/emulator/ClientPopulation.java
@@ -2,7 +2,7 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.FinalOutcome;
-import elderseam.testkit.emulator.WorldListener.Msg;
+import elderseam.testkit.emulator.WorldListener.ClientRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,11 +19,11 @@
     private static final double BURST_S = 1;
 
     private static final class Open {
-        final Msg m;
+        final ClientRequest m;
         int tries;
         boolean taken;
 
-        Open(Msg m) {
+        Open(ClientRequest m) {
             this.m = m;
         }
     }
@@ -140,7 +140,7 @@
         long now = world.time.now();
         double draw = choices.nextDouble() * mixUpTo[2];
         int cls = draw < mixUpTo[0] ? 0 : draw < mixUpTo[1] ? 1 : 2;
-        Msg m = new Msg(
+        ClientRequest m = new ClientRequest(
                 "m" + ids++,
                 cls,
                 tenant(now),
@@ -174,17 +174,17 @@
     private void hand(Open o) {
         EmulatedWorld.Seat seat = world.any(front);
         boolean again = o.tries++ > 0;
-        world.watcher.handedIn(world.time.now(), o.m, again);
+        world.watcher.submitted(world.time.now(), o.m, again);
         if (seat == null) {
             again(o, 500 * MS);
             return;
         }
-        Msg m = o.m;
+        ClientRequest m = o.m;
         o.taken = true;
         FinalOutcome answer = seat.instance.take(new ActiveRequest.Message(
                 m.id(),
                 (byte) 0,
-                m.cls(),
+                m.requestClass(),
                 m.tenant(),
                 m.destination(),
                 m.deadline(),
@@ -196,27 +196,20 @@
         if (answer != null) {
             answered(m.id(), answer);
         } else {
-            world.watcher.taken(world.time.now(), seat.number, m);
+            world.watcher.accepted(world.time.now(), seat.number, m);
         }
     }
 
-    Msg known(String id) {
+    ClientRequest known(String id) {
         Open o = open.get(id);
-        return o == null ? new Msg(id, 0, 0, 0, world.time.now(), world.time.now()) : o.m;
+        return o == null ? new ClientRequest(id, 0, 0, 0, world.time.now(), world.time.now()) : o.m;
     }
 
     /** A final answer of a dispatcher. */
     void answered(String id, FinalOutcome answer) {
         Open o = open.get(id);
-        if (o == null) {
-            world.watcher.answered(
-                    world.time.now(),
-                    new Msg(id, -1, -1, -1, 0, 0),
-                    answer); // to one that had its end: for the checkers
-            return;
-        }
-        if (!o.taken) {
-            world.watcher.answered(world.time.now(), new Msg(id, -1, -1, -1, 0, 0), answer);
+        if (o == null || !o.taken) {
+            world.watcher.answeredUnexpectedly(world.time.now(), id, answer);
             return;
         }
         o.taken = false;
@@ -231,9 +224,9 @@
     /** The client comes again when it was told to and somewhat later, while there is time and it has not lost patience. */
     private void again(Open o, long afterNs) {
         long at = world.time.now() + Math.max(100 * MS, afterNs) + (long) (200 * MS * habits.nextDouble());
-        long window = Policies.CLASSES.get(o.m.cls()).keyWindowNs();
+        long window = Policies.CLASSES.get(o.m.requestClass()).keyWindowNs();
         boolean past = window > 0
-                && at >= o.m.born() + window; // a repeat would no longer be dropped, as the platform's clients know
+                && at >= o.m.created() + window; // a repeat would no longer be dropped, as the platform's clients know
         if (past || at >= o.m.deadline() || o.tries > plan.clients().maxRetries()) {
             end(o, FinalOutcome.Kind.REJECTED);
         } else {
@@ -243,13 +236,13 @@
 
     private void end(Open o, FinalOutcome.Kind kind) {
         open.remove(o.m.id());
-        world.watcher.over(world.time.now(), o.m, kind);
+        world.watcher.finished(world.time.now(), o.m, kind);
     }
 
     /** The run is over: what is still open never had its answer. */
     void over() {
         List<Open> left = new ArrayList<>(open.values());
         open.clear();
-        left.forEach(o -> world.watcher.over(world.time.now(), o.m, null));
+        left.forEach(o -> world.watcher.lost(world.time.now(), o.m));
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -3,7 +3,7 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.testkit.emulator.Scenario.Fault;
-import elderseam.testkit.emulator.WorldListener.Msg;
+import elderseam.testkit.emulator.WorldListener.ClientRequest;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -111,7 +111,7 @@
     }
 
     /** A call has come to an endpoint. */
-    Reply call(long now, int endpoint, Msg m, int attempt) {
+    Reply call(long now, int endpoint, ClientRequest m, int attempt) {
         Spell s = spell(now);
         long service = (long) (kind.serviceMs()
                 * MS
@@ -195,7 +195,7 @@
         }
         downUntil = now + kind.collapseMs() * MS;
         returns(downUntil);
-        watcher.felled(now, id);
+        watcher.collapsed(now, id);
         return true;
     }
 
@@ -245,7 +245,7 @@
         return kind.reportsLimit() ? Math.max(0.001, Math.min(1, bucket / burst())) : 0;
     }
 
-    private double reported(Msg m, int attempt) {
+    private double reported(ClientRequest m, int attempt) {
         return kind.reportsLimit()
                 ? kind.callsPerSecond()
                         * Math.max(0.1, 1 + kind.reportNoise() * RandomStreams.normal(seed, m.id(), attempt, 7))
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -5,7 +5,7 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.EndpointCall;
-import elderseam.testkit.emulator.WorldListener.Msg;
+import elderseam.testkit.emulator.WorldListener.ClientRequest;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -36,7 +36,7 @@
     Call call(
             int dispatcher,
             java.util.function.BooleanSupplier alive,
-            Msg m,
+            ClientRequest m,
             int number,
             EmulatedDestination to,
             int endpoint,
@@ -51,7 +51,7 @@
         private final int number;
         private final int endpoint;
         private final java.util.function.BooleanSupplier alive;
-        private final Msg m;
+        private final ClientRequest m;
         private final EmulatedDestination to;
         private final long answerBy;
         private final AttemptListener attempt;
@@ -63,7 +63,7 @@
         private Call(
                 int dispatcher,
                 java.util.function.BooleanSupplier alive,
-                Msg m,
+                ClientRequest m,
                 int number,
                 EmulatedDestination to,
                 int endpoint,
@@ -94,7 +94,7 @@
                 time.at(time.now() + connect, this::leave);
             }
             if (to != null && !idle) {
-                watcher.connects(time.now(), dispatcher, name, time.now() + connect + to.kind.idleMs() * MS);
+                watcher.connectionOpened(time.now(), dispatcher, name, time.now() + connect + to.kind.idleMs() * MS);
             }
             if (to != null) {
                 idleUntil.put(pair, time.now() + connect + to.kind.idleMs() * MS);
@@ -109,7 +109,7 @@
                 ends(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED));
                 return;
             }
-            watcher.called(time.now(), dispatcher, m, name);
+            watcher.attemptSent(time.now(), dispatcher, m, name);
             left = true;
             boolean lost = plan.lossShare() > 0 && RandomStreams.unit(seed, m.id(), number, 13) < plan.lossShare();
             boolean after = lost && RandomStreams.unit(seed, m.id(), number, 14) < 0.5;
@@ -123,7 +123,7 @@
             EmulatedDestination.Reply r = to.call(time.now() + way, endpoint, m, number);
             progress = r.progress() == Progress.NOT_CONNECTED ? Progress.NOT_CONNECTED : Progress.WRITTEN;
             if (r.ranNs() >= 0) {
-                time.at(time.now() + way + r.ranNs(), () -> watcher.ran(time.now(), m));
+                time.at(time.now() + way + r.ranNs(), () -> watcher.executed(time.now(), m));
             }
             long back = r.afterNs() >= EmulatedDestination.NEVER
                     ? EmulatedDestination.NEVER
@@ -148,7 +148,7 @@
                 return;
             }
             if (r.waitNs() > 0) {
-                watcher.waits(time.now(), dispatcher, to.id, time.now() + r.waitNs());
+                watcher.retryAfterReceived(time.now(), dispatcher, to.id, time.now() + r.waitNs());
             }
             if (!over) {
                 ends(end);
@@ -161,7 +161,7 @@
             if (!over && alive.getAsBoolean()) {
                 over = true;
                 if (left) {
-                    watcher.ended(time.now(), dispatcher, m, name, end);
+                    watcher.attemptEnded(time.now(), dispatcher, m, name, end);
                 }
                 attempt.ended(end);
             }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -9,7 +9,7 @@
 import elderseam.policy.ListUpdateKind;
 import elderseam.policy.ListedEndpoint;
 import elderseam.policy.RequestClass;
-import elderseam.testkit.emulator.WorldListener.Msg;
+import elderseam.testkit.emulator.WorldListener.ClientRequest;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -65,7 +65,7 @@
         public EndpointCall send(
                 ActiveRequest.Message m, String endpoint, long connectBy, long answerBy, AttemptListener attempt) {
             long mine = life;
-            Msg msg = clients.known(m.id());
+            ClientRequest msg = clients.known(m.id());
             int e = endpoint.indexOf('e');
             EmulatedDestination to =
                     endpoint.startsWith("wrong") ? null : destinations.get(Long.parseLong(endpoint.substring(1, e)));
@@ -108,7 +108,7 @@
             up = true;
             accepting = true;
             instance = maker.make(this, store, seed * 1_000 + number * 31L + life);
-            watcher.process(time.now(), number, true);
+            watcher.processChanged(time.now(), number, true);
             seen(this, true);
             instance.hosts(ListUpdateKind.COMPLETE, list());
         }
@@ -116,7 +116,7 @@
         private void stop() {
             up = false;
             accepting = false;
-            watcher.process(time.now(), number, false);
+            watcher.processChanged(time.now(), number, false);
             seen(this, false);
         }
     }
@@ -249,12 +249,12 @@
             long to = (long) (t.end() * S);
             for (EmulatedDestination d : part(t.kind(), t.share(), t.name())) {
                 d.trouble(from, to, t.fault(), t.slowdown());
-                time.at(from, () -> watcher.trouble(time.now(), d.id, true));
+                time.at(from, () -> watcher.troubleChanged(time.now(), d.id, true));
                 time.at(to, () -> {
                     if (t.fault() != Scenario.Fault.SLOW) {
                         d.returns(to);
                     }
-                    watcher.trouble(time.now(), d.id, false);
+                    watcher.troubleChanged(time.now(), d.id, false);
                 });
             }
         }
@@ -289,7 +289,7 @@
                 if (s.up) {
                     s.instance.hosts(ListUpdateKind.CHANGES, List.of(now));
                     if (listing != EndpointStatus.READY) {
-                        watcher.drains(time.now(), s.number, endpoint);
+                        watcher.drainReceived(time.now(), s.number, endpoint);
                     }
                 }
             });
--- a/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
+++ b/src/main/java/elderseam/testkit/emulator/RuleCheckers.java
@@ -6,22 +6,32 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
- * The rules that any dispatcher must keep, checked on what happens alone: each message has one final answer, in time; a once-only one
- * takes effect once, a keyed one once in its window; one attempt of a message is out at a time, and no dispatcher has more out than
- * its slots; a told wait is kept, and so is an endpoint that drains. A cold partner that was pushed over is counted, not a fault.
+ * Checks the rules that every dispatcher must keep, by what happens in the world alone: each request gets one final answer, in time; a
+ * request that must run once takes effect once, a keyed one once within its window; one attempt of a request is in flight at a time,
+ * and no dispatcher has more in flight than its slots; a Retry-After is kept, and a draining endpoint is left alone. A collapse of a
+ * cold destination is counted, but breaks no rule.
  */
 public final class RuleCheckers implements WorldListener {
-    /** What can be broken. */
+    /** The rules, by the way in which each is broken. */
     public enum Rule {
+        /** A request got an answer after its final one. */
         ANSWERED_TWICE("answered_twice"),
+        /** A request never got an answer. */
         LOST("lost"),
+        /** A request was answered after its deadline. */
         LATE("late"),
+        /** Two attempts of a request were in flight at once. */
         TWO_OUT("two_out"),
+        /** A dispatcher had more attempts in flight than its slots. */
         ABOVE_SLOTS("above_slots"),
+        /** A request took effect again, when no repeat was allowed. */
         EFFECT_TWICE("effect_twice"),
+        /** A destination was called before its Retry-After had passed. */
         WAIT_BROKEN("wait_broken"),
+        /** A draining endpoint was called. */
         DRAIN_BROKEN("drain_broken");
 
         private final String wireName;
@@ -36,131 +46,183 @@
         }
     }
 
-    private static final long MS = 1_000_000;
-    private static final long LATE_NS = 50 * MS;
-    private static final long DRAIN_GRACE_NS = 2_000 * MS;
-    private static final long WAIT_GRACE_NS = MS;
-    private static final long KEY_WINDOW_NS = 6_000 * MS;
-    private static final long AWAY_NS = 1_500 * MS; // what a process owed while it was away it tells within this
-    private static final int MOST_WORDS = 20;
+    /** A destination or an endpoint, as one dispatcher knows it. */
+    private record Known<T>(int dispatcher, T target) {}
+
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    /** How long after its deadline an answer is not yet late. */
+    private static final long ANSWER_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** How long calls to an endpoint may go on after its drain became known. */
+    private static final long DRAIN_GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final long RETRY_AFTER_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long KEY_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+    /** How long a restarted process has for the answers that fell due while it was away. */
+    private static final long RESTART_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    /** The far future, from which a grace can still be added without overflow. */
+    private static final long NEVER = Long.MAX_VALUE / 2;
+
+    private static final int SAFE_CLASS = 0;
+    private static final int KEYED_CLASS = 1;
+    private static final int ONCE_CLASS = 2;
+    private static final int NO_DISPATCHER = -1;
+    private static final int MAX_DESCRIBED_VIOLATIONS = 20;
 
     private final int slots;
-    private final Map<String, Integer> out = new HashMap<>(); // by message
-    private final Map<String, Long> ran = new HashMap<>(); // by message: when it last took effect
-    private final Map<Integer, Integer> outOf = new HashMap<>(); // by dispatcher
-    private final Map<String, Long> waits = new HashMap<>();
-    private final Map<String, Long> drains = new HashMap<>(); // by dispatcher and destination or endpoint
-    private final Map<Integer, Map<String, Integer>> outBy = new HashMap<>();
-    private final Map<String, Integer> holders = new HashMap<>(); // by message: who took it on last
-    private final Map<Integer, Long> started = new HashMap<>(); // by dispatcher, where it was started anew
+    private final Map<String, Integer> inFlightByRequest = new HashMap<>();
+    private final Map<Integer, Integer> inFlightByDispatcher = new HashMap<>();
+    private final Map<Integer, Map<String, Integer>> inFlightRequests = new HashMap<>();
+    private final Map<String, Long> lastExecution = new HashMap<>();
+    private final Map<Known<Long>, Long> retryAfter = new HashMap<>();
+    private final Map<Known<String>, Long> drainKnownSince = new HashMap<>();
+
+    /** By request: the dispatcher that accepted it last. */
+    private final Map<String, Integer> holders = new HashMap<>();
+
+    /** By dispatcher: its last start, if it was restarted. */
+    private final Map<Integer, Long> restartedAt = new HashMap<>();
+
     private final Map<Rule, Integer> broken = new LinkedHashMap<>();
-    private final StringBuilder words = new StringBuilder();
-    private int felled;
-    private int told;
+    private final StringBuilder violations = new StringBuilder();
+    private int describedViolations;
+    private int collapses;
 
+    /** Creates checkers for a world whose dispatchers have so many slots each. */
     public RuleCheckers(int slots) {
         this.slots = slots;
     }
 
-    private void breaks(Rule rule, long now, String what) {
+    private void report(Rule rule, long now, String description) {
         broken.merge(rule, 1, Integer::sum);
-        if (told++ < MOST_WORDS) {
-            words.append(
-                    String.format("%.3f s: %s: %s%n", now / 1e9, rule.wireName().toUpperCase(Locale.ROOT), what));
+        if (describedViolations++ < MAX_DESCRIBED_VIOLATIONS) {
+            String ruleName = rule.wireName().toUpperCase(Locale.ROOT);
+            violations.append(String.format("%.3f s: %s: %s%n", now / NANOS_PER_SECOND, ruleName, description));
         }
     }
 
     @Override
-    public void taken(long now, int dispatcher, Msg m) {
-        holders.put(m.id(), dispatcher);
+    public void accepted(long now, int dispatcher, ClientRequest request) {
+        holders.put(request.id(), dispatcher);
     }
 
     @Override
-    public void answered(long now, Msg m, FinalOutcome answer) {
-        if (m.cls() < 0) {
-            breaks(Rule.ANSWERED_TWICE, now, m.id() + " is answered " + answer.kind() + " though nobody waits");
-        } else if (now > m.deadline() + LATE_NS
-                && now > started.getOrDefault(holders.getOrDefault(m.id(), -1), -AWAY_NS) + AWAY_NS) {
-            breaks(Rule.LATE, now, m.id() + " is answered " + (now - m.deadline()) / MS + " ms after its deadline");
+    public void answered(long now, ClientRequest request, FinalOutcome answer) {
+        int holder = holders.getOrDefault(request.id(), NO_DISPATCHER);
+        long answersDue = restartedAt.getOrDefault(holder, -RESTART_GRACE_NANOS) + RESTART_GRACE_NANOS;
+        if (now > request.deadline() + ANSWER_GRACE_NANOS && now > answersDue) {
+            long lateMillis = (now - request.deadline()) / NANOS_PER_MILLI;
+            report(Rule.LATE, now, request.id() + " is answered " + lateMillis + " ms after its deadline");
         }
     }
 
     @Override
-    public void over(long now, Msg m, FinalOutcome.Kind kind) {
-        if (kind == null) {
-            breaks(Rule.LOST, now, m.id() + " never had an answer");
-        }
-        holders.remove(m.id());
-        if (m.cls() == 0) {
-            ran.remove(m.id());
+    public void answeredUnexpectedly(long now, String requestId, FinalOutcome answer) {
+        report(Rule.ANSWERED_TWICE, now, requestId + " is answered " + answer.kind() + " though nobody waits");
+    }
+
+    @Override
+    public void finished(long now, ClientRequest request, FinalOutcome.Kind kind) {
+        forget(request);
+    }
+
+    @Override
+    public void lost(long now, ClientRequest request) {
+        report(Rule.LOST, now, request.id() + " never had an answer");
+        forget(request);
+    }
+
+    /** Executions of the other classes stay, as a late attempt may still take effect. */
+    private void forget(ClientRequest request) {
+        holders.remove(request.id());
+        if (request.requestClass() == SAFE_CLASS) {
+            lastExecution.remove(request.id());
         }
     }
 
     @Override
-    public void called(long now, int dispatcher, Msg m, String endpoint) {
-        if (out.merge(m.id(), 1, Integer::sum) > 1) {
-            breaks(Rule.TWO_OUT, now, m.id() + " is sent to " + endpoint + " while another attempt is out");
+    public void attemptSent(long now, int dispatcher, ClientRequest request, String endpoint) {
+        String id = request.id();
+        if (inFlightByRequest.merge(id, 1, Integer::sum) > 1) {
+            report(Rule.TWO_OUT, now, id + " is sent to " + endpoint + " while another attempt is out");
         }
-        outBy.computeIfAbsent(dispatcher, d -> new HashMap<>()).merge(m.id(), 1, Integer::sum);
-        if (outOf.merge(dispatcher, 1, Integer::sum) > slots) {
-            breaks(Rule.ABOVE_SLOTS, now, "dispatcher " + dispatcher + " has " + outOf.get(dispatcher) + " calls out");
+        inFlightRequests.computeIfAbsent(dispatcher, any -> new HashMap<>()).merge(id, 1, Integer::sum);
+        int inFlight = inFlightByDispatcher.merge(dispatcher, 1, Integer::sum);
+        String caller = "dispatcher " + dispatcher;
+        if (inFlight > slots) {
+            report(Rule.ABOVE_SLOTS, now, caller + " has " + inFlight + " calls out");
         }
-        if (now + WAIT_GRACE_NS < waits.getOrDefault(dispatcher + " " + m.destination(), 0L)) {
-            breaks(Rule.WAIT_BROKEN, now, "dispatcher " + dispatcher + " calls " + m.destination() + " in a told wait");
+        long destination = request.destination();
+        if (now + RETRY_AFTER_GRACE_NANOS < retryAfter.getOrDefault(new Known<>(dispatcher, destination), 0L)) {
+            report(Rule.WAIT_BROKEN, now, caller + " calls " + destination + " in a told wait");
         }
-        if (now > drains.getOrDefault(dispatcher + " " + endpoint, Long.MAX_VALUE / 2) + DRAIN_GRACE_NS) {
-            breaks(Rule.DRAIN_BROKEN, now, "dispatcher " + dispatcher + " calls " + endpoint + " that drains");
+        long drainKnown = drainKnownSince.getOrDefault(new Known<>(dispatcher, endpoint), NEVER);
+        if (now > drainKnown + DRAIN_GRACE_NANOS) {
+            report(Rule.DRAIN_BROKEN, now, caller + " calls " + endpoint + " that drains");
         }
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
-        out.merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
-        outOf.merge(dispatcher, -1, Integer::sum);
-        outBy.get(dispatcher).merge(m.id(), -1, (a, b) -> a + b == 0 ? null : a + b);
+    public void attemptEnded(long now, int dispatcher, ClientRequest request, String endpoint, AttemptOutcome outcome) {
+        subtract(inFlightByRequest, request.id(), 1);
+        inFlightByDispatcher.merge(dispatcher, -1, Integer::sum);
+        subtract(inFlightRequests.get(dispatcher), request.id(), 1);
+    }
+
+    private static void subtract(Map<String, Integer> counts, String id, int count) {
+        counts.merge(id, -count, (before, change) -> before + change == 0 ? null : before + change);
     }
 
-    /** What a process that ended had out is out no more, as far as it is concerned. */
+    /** The attempts and the knowledge of a process end with it. */
     @Override
-    public void process(long now, int dispatcher, boolean up) {
-        if (up && now > 0) {
-            started.put(dispatcher, now);
-        }
-        if (!up) {
-            outBy.getOrDefault(dispatcher, Map.of())
-                    .forEach((id, n) -> out.merge(id, -n, (a, b) -> a + b == 0 ? null : a + b));
-            outBy.remove(dispatcher);
-            outOf.remove(dispatcher);
-            waits.keySet().removeIf(k -> k.startsWith(dispatcher + " ")); // it remembers none, and may be told anew
-            drains.keySet().removeIf(k -> k.startsWith(dispatcher + " "));
+    public void processChanged(long now, int dispatcher, boolean up) {
+        if (up) {
+            if (now > 0) {
+                restartedAt.put(dispatcher, now);
+            }
+            return;
         }
+        inFlightRequests
+                .getOrDefault(dispatcher, Map.of())
+                .forEach((id, count) -> subtract(inFlightByRequest, id, count));
+        inFlightRequests.remove(dispatcher);
+        inFlightByDispatcher.remove(dispatcher);
+        retryAfter.keySet().removeIf(known -> known.dispatcher == dispatcher);
+        drainKnownSince.keySet().removeIf(known -> known.dispatcher == dispatcher);
     }
 
     @Override
-    public void ran(long now, Msg m) {
-        Long last = ran.put(m.id(), now);
-        boolean twice = last != null && (m.cls() == 2 || (m.cls() == 1 && now - last > KEY_WINDOW_NS));
-        if (twice) {
-            breaks(
-                    Rule.EFFECT_TWICE,
-                    now,
-                    m.id() + " of class " + m.cls() + " takes effect again after " + (now - last) / MS + " ms");
+    public void executed(long now, ClientRequest request) {
+        Long last = lastExecution.put(request.id(), now);
+        if (last == null) {
+            return;
+        }
+        long elapsed = now - last;
+        int requestClass = request.requestClass();
+        if (requestClass == ONCE_CLASS || (requestClass == KEYED_CLASS && elapsed > KEY_WINDOW_NANOS)) {
+            String description = request.id() + " of class " + requestClass + " takes effect again after "
+                    + elapsed / NANOS_PER_MILLI + " ms";
+            report(Rule.EFFECT_TWICE, now, description);
         }
     }
 
     @Override
-    public void waits(long now, int dispatcher, long destination, long until) {
-        waits.merge(dispatcher + " " + destination, until, Math::max);
+    public void retryAfterReceived(long now, int dispatcher, long destination, long until) {
+        retryAfter.merge(new Known<>(dispatcher, destination), until, Math::max);
     }
 
     @Override
-    public void drains(long now, int dispatcher, String endpoint) {
-        drains.putIfAbsent(dispatcher + " " + endpoint, now);
+    public void drainReceived(long now, int dispatcher, String endpoint) {
+        drainKnownSince.putIfAbsent(new Known<>(dispatcher, endpoint), now);
     }
 
     @Override
-    public void felled(long now, long destination) {
-        felled++;
+    public void collapsed(long now, long destination) {
+        collapses++;
     }
 
     /** How often each rule was broken; empty where none was. */
@@ -168,12 +230,13 @@
         return broken;
     }
 
-    /** The first breaks, a line each. */
-    public String words() {
-        return words.toString();
+    /** The first violations, a line each. */
+    public String violations() {
+        return violations.toString();
     }
 
-    public int felled() {
-        return felled;
+    /** How often a cold destination collapsed under its calls. */
+    public int collapses() {
+        return collapses;
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/RunStatistics.java
+++ b/src/main/java/elderseam/testkit/emulator/RunStatistics.java
@@ -3,214 +3,272 @@
 import elderseam.core.AttemptOutcome;
 import elderseam.core.FinalOutcome;
 import elderseam.policy.RequestClass;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
-/** What a run came to: service, latencies by class, refusals, calls; by the second where messages were born. */
+/**
+ * Collects the figures of a run: service, counts of requests and calls, latencies by class, and values by second.
+ *
+ * <p>Service is the value of the requests that were delivered, over the value that all requests had. A delivery in time has the weight
+ * of its class as value, a late one less. Service belongs to the second in which the request was created, counts of events to the second
+ * in which they happen.
+ */
 public final class RunStatistics implements WorldListener {
-    private static final long S = 1_000_000_000L;
-    private static final long MS = 1_000_000L;
-    private static final int WORST_S = 10;
-
-    private final double[] possible;
-    private final double[] worth;
-    private final int[] refusedAt;
-    private final int[] callsAt;
-    private final int[] failedAt;
-    private final Histogram[] latency = new Histogram[3];
-    private int messages;
+    private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long NANOS_PER_MICRO = TimeUnit.MICROSECONDS.toNanos(1);
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    /** Seconds that a run may go on after the scenario's end; later events count in the last one. */
+    private static final int RUNOUT_SECONDS = 60;
+
+    /** Length of the window by which the worst service is measured. */
+    private static final int WORST_WINDOW_SECONDS = 10;
+
+    private static final double MIN_TOTAL_VALUE = 1e-9;
+
+    /** After its deadline a delivery keeps its value for so long. */
+    private static final long DEADLINE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final long MAX_LATENCY_MICROS = TimeUnit.MINUTES.toMicros(1);
+    private static final int LATENCY_DIGITS = 3;
+    private static final double P99_9 = 99.9;
+    private static final double[] REPORTED_PERCENTILES = {50, 99, P99_9};
+
+    private final double[] possibleValue;
+    private final double[] deliveredValue;
+    private final int[] rejections;
+    private final int[] calls;
+    private final int[] failedCalls;
+    private final Histogram[] latencyMicros = new Histogram[Policies.CLASSES.size()];
+    private int requests;
+    private int submissions;
     private int delivered;
-    private int refused;
+    private int rejected;
     private int failed;
     private int lost;
-    private int handed;
-    private int calls;
-    private int failedCalls;
+    private int callCount;
+    private int failedCallCount;
     private int callsInTrouble;
-    private final Map<Long, Integer> troubled = new HashMap<>();
-    private final Map<String, Map<Integer, Long>> connected =
-            new HashMap<>(); // by endpoint and dispatcher: until when at least
-    private final Map<Long, Map<String, Integer>> byEndpoint = new HashMap<>();
+
+    /** By destination: how many troubles it has now. */
+    private final Map<Long, Integer> troubles = new HashMap<>();
+
+    /** By endpoint and dispatcher: until when the connection is idle at least. */
+    private final Map<String, Map<Integer, Long>> connectedUntil = new HashMap<>();
+
+    private final Map<Long, Map<String, Integer>> callsByEndpoint = new HashMap<>();
     private int connections;
-    private int mostConnected;
-
-    public RunStatistics(Scenario plan) {
-        int n = (int) Math.ceil(plan.seconds()) + 60;
-        possible = new double[n];
-        worth = new double[n];
-        refusedAt = new int[n];
-        callsAt = new int[n];
-        failedAt = new int[n];
-        for (int i = 0; i < 3; i++) {
-            latency[i] = new Histogram(60_000_000, 3); // microseconds up to a minute
-        }
+    private int maxDispatchersAtEndpoint;
+
+    /** Creates statistics for one run of a scenario. */
+    public RunStatistics(Scenario scenario) {
+        int seconds = (int) Math.ceil(scenario.seconds()) + RUNOUT_SECONDS;
+        possibleValue = new double[seconds];
+        deliveredValue = new double[seconds];
+        rejections = new int[seconds];
+        calls = new int[seconds];
+        failedCalls = new int[seconds];
+        Arrays.setAll(latencyMicros, any -> new Histogram(MAX_LATENCY_MICROS, LATENCY_DIGITS));
     }
 
-    private int second(long at) {
-        return (int) Math.min(possible.length - 1, at / S);
+    private int second(long time) {
+        return (int) Math.min(possibleValue.length - 1, time / NANOS_PER_SECOND);
     }
 
     @Override
-    public void handedIn(long now, Msg m, boolean again) {
-        handed++;
+    public void submitted(long now, ClientRequest request, boolean again) {
+        submissions++;
         if (!again) {
-            messages++;
-            possible[second(m.born())] += Policies.CLASSES.get(m.cls()).priorityWeight();
+            requests++;
+            possibleValue[second(request.created())] += classOf(request).priorityWeight();
         }
     }
 
+    private static RequestClass classOf(ClientRequest request) {
+        return Policies.CLASSES.get(request.requestClass());
+    }
+
     @Override
-    public void answered(long now, Msg m, FinalOutcome answer) {
+    public void answered(long now, ClientRequest request, FinalOutcome answer) {
+        countRejection(now, answer);
+    }
+
+    @Override
+    public void answeredUnexpectedly(long now, String requestId, FinalOutcome answer) {
+        countRejection(now, answer);
+    }
+
+    private void countRejection(long now, FinalOutcome answer) {
         if (answer.kind() == FinalOutcome.Kind.REJECTED) {
-            refusedAt[second(now)]++;
+            rejections[second(now)]++;
         }
     }
 
     @Override
-    public void over(long now, Msg m, FinalOutcome.Kind kind) {
-        if (kind == null) {
-            lost++;
-            return;
-        }
+    public void finished(long now, ClientRequest request, FinalOutcome.Kind kind) {
         switch (kind) {
             case DELIVERED -> {
                 delivered++;
-                latency[m.cls()].recordValue(Math.min(60_000_000, Math.max(1, (now - m.born()) / 1_000)));
-                worth[second(m.born())] += worth(Policies.CLASSES.get(m.cls()), now - m.born());
+                long latency = now - request.created();
+                long micros = Math.max(1, latency / NANOS_PER_MICRO);
+                latencyMicros[request.requestClass()].recordValue(Math.min(MAX_LATENCY_MICROS, micros));
+                deliveredValue[second(request.created())] += value(classOf(request), latency);
             }
-            case REJECTED -> refused++;
+            case REJECTED -> rejected++;
             default -> failed++;
         }
     }
 
-    /** In time all of it; later half for each further aim, and no less than what is left at the deadline. */
-    private static double worth(RequestClass c, long took) {
-        double late = Math.max(0, (double) (took - c.latencyObjectiveNs()) / c.latencyObjectiveNs());
-        return took > c.deadlineNs() + 100 * MS
-                ? 0
-                : c.priorityWeight() * Math.max(c.lateWeight(), Math.pow(0.5, late));
+    @Override
+    public void lost(long now, ClientRequest request) {
+        lost++;
+    }
+
+    /** The class's weight up to its latency objective, half for each further objective, but no less than its late weight. */
+    private static double value(RequestClass requestClass, long latency) {
+        if (latency > requestClass.deadlineNs() + DEADLINE_GRACE_NANOS) {
+            return 0;
+        }
+        long objective = requestClass.latencyObjectiveNs();
+        double late = Math.max(0, (double) (latency - objective) / objective);
+        return requestClass.priorityWeight() * Math.max(requestClass.lateWeight(), Math.pow(0.5, late));
     }
 
     @Override
-    public void connects(long now, int dispatcher, String endpoint, long until) {
+    public void connectionOpened(long now, int dispatcher, String endpoint, long idleUntil) {
         connections++;
-        Map<Integer, Long> there = connected.computeIfAbsent(endpoint, e -> new HashMap<>());
-        there.values().removeIf(t -> t < now);
-        there.put(dispatcher, until);
-        mostConnected = Math.max(mostConnected, there.size());
+        Map<Integer, Long> connected = connectedUntil.computeIfAbsent(endpoint, any -> new HashMap<>());
+        connected.values().removeIf(until -> until < now);
+        connected.put(dispatcher, idleUntil);
+        maxDispatchersAtEndpoint = Math.max(maxDispatchersAtEndpoint, connected.size());
     }
 
     @Override
-    public void called(long now, int dispatcher, Msg m, String endpoint) {
-        calls++;
-        byEndpoint.computeIfAbsent(m.destination(), d -> new HashMap<>()).merge(endpoint, 1, Integer::sum);
-        callsAt[second(now)]++;
-        callsInTrouble += troubled.containsKey(m.destination()) ? 1 : 0;
+    public void attemptSent(long now, int dispatcher, ClientRequest request, String endpoint) {
+        callCount++;
+        calls[second(now)]++;
+        long destination = request.destination();
+        callsByEndpoint.computeIfAbsent(destination, any -> new HashMap<>()).merge(endpoint, 1, Integer::sum);
+        if (troubles.containsKey(destination)) {
+            callsInTrouble++;
+        }
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
-        if (end.status() != AttemptOutcome.Status.DELIVERED && end.status() != AttemptOutcome.Status.OVERLOADED) {
-            failedCalls++;
-            failedAt[second(now)]++;
+    public void attemptEnded(long now, int dispatcher, ClientRequest request, String endpoint, AttemptOutcome outcome) {
+        AttemptOutcome.Status status = outcome.status();
+        if (status != AttemptOutcome.Status.DELIVERED && status != AttemptOutcome.Status.OVERLOADED) {
+            failedCallCount++;
+            failedCalls[second(now)]++;
         }
     }
 
     @Override
-    public void trouble(long now, long destination, boolean begins) {
-        if (begins) {
-            troubled.merge(destination, 1, Integer::sum);
-        } else {
-            troubled.merge(destination, -1, (a, b) -> a + b == 0 ? null : a + b);
-        }
+    public void troubleChanged(long now, long destination, boolean begins) {
+        int change = begins ? 1 : -1;
+        troubles.merge(destination, change, (count, delta) -> count + delta == 0 ? null : count + delta);
     }
 
-    /** Worth of what was delivered, of what could have been. */
+    /** Value of what was delivered over the value of all requests, 0 to 1. */
     public double service() {
-        return sum(worth, 0, worth.length) / Math.max(1e-9, sum(possible, 0, possible.length));
+        double possible = sum(possibleValue, 0, possibleValue.length);
+        return sum(deliveredValue, 0, deliveredValue.length) / Math.max(MIN_TOTAL_VALUE, possible);
     }
 
-    /** The same of the ten seconds that came off worst, of those with a tenth of the usual messages or more. */
-    public double worst() {
+    /** The lowest service of ten successive seconds, of those with at least a tenth of the mean value of requests. */
+    public double worstService() {
+        int seconds = possibleValue.length;
+        double meanValue = sum(possibleValue, 0, seconds) / seconds * WORST_WINDOW_SECONDS;
         double worst = 1;
-        double usual = sum(possible, 0, possible.length) / possible.length * WORST_S;
-        for (int i = 0; i + WORST_S <= possible.length; i++) {
-            double p = sum(possible, i, i + WORST_S);
-            worst = p > usual / 10 ? Math.min(worst, sum(worth, i, i + WORST_S) / p) : worst;
+        for (int from = 0; from + WORST_WINDOW_SECONDS <= seconds; from++) {
+            double possible = sum(possibleValue, from, from + WORST_WINDOW_SECONDS);
+            if (possible > meanValue / 10) {
+                worst = Math.min(worst, sum(deliveredValue, from, from + WORST_WINDOW_SECONDS) / possible);
+            }
         }
         return worst;
     }
 
-    private static double sum(double[] of, int from, int to) {
-        double s = 0;
+    private static double sum(double[] values, int from, int to) {
+        double sum = 0;
         for (int i = from; i < to; i++) {
-            s += of[i];
+            sum += values[i];
         }
-        return s;
+        return sum;
     }
 
-    /** Service of each second; NaN where nothing was handed in. */
-    public double[] series() {
-        double[] all = new double[possible.length];
-        for (int i = 0; i < all.length; i++) {
-            all[i] = possible[i] == 0 ? Double.NaN : worth[i] / possible[i];
+    /** Service of each second; NaN where no request was created. */
+    public double[] serviceBySecond() {
+        double[] service = new double[possibleValue.length];
+        for (int i = 0; i < service.length; i++) {
+            service[i] = possibleValue[i] == 0 ? Double.NaN : deliveredValue[i] / possibleValue[i];
         }
-        return all;
+        return service;
     }
 
-    public int[] refusals() {
-        return refusedAt.clone();
+    /** Rejections that reached clients, by second. */
+    public int[] rejectionsBySecond() {
+        return rejections.clone();
     }
 
-    public int[] callsASecond() {
-        return callsAt.clone();
+    /** Attempts sent, by second. */
+    public int[] callsBySecond() {
+        return calls.clone();
     }
 
-    public int[] failedASecond() {
-        return failedAt.clone();
+    /** Attempts that ended neither delivered nor refused, by second. */
+    public int[] failedCallsBySecond() {
+        return failedCalls.clone();
     }
 
-    public Histogram latency(int cls) {
-        return latency[cls];
+    /** Latencies of delivered requests of a class, in microseconds. The histogram itself, not a copy. */
+    public Histogram latencyMicros(int requestClass) {
+        return latencyMicros[requestClass];
     }
 
-    /** The most calls at an endpoint over the mean of its destination, over all destinations by their calls. */
-    private double unevenness() {
-        double sum = 0;
-        double weight = 0;
-        for (Map<String, Integer> of : byEndpoint.values()) {
-            int all = of.values().stream().mapToInt(n -> n).sum();
-            sum += (double) of.values().stream().mapToInt(n -> n).max().orElse(0) * of.size();
-            weight += all;
+    /** The most calls at an endpoint over the mean of its destination's, averaged over destinations by their calls. */
+    private double endpointImbalance() {
+        double weightedMaxima = 0;
+        double total = 0;
+        for (Map<String, Integer> endpoints : callsByEndpoint.values()) {
+            int max = 0;
+            for (int count : endpoints.values()) {
+                max = Math.max(max, count);
+                total += count;
+            }
+            weightedMaxima += (double) max * endpoints.size();
         }
-        return weight == 0 ? 1 : sum / weight;
+        return total == 0 ? 1 : weightedMaxima / total;
     }
 
-    /** Figures by name, in a fixed order. */
+    /** Returns a new map of the figures by name, in the order of reports. */
     public Map<String, Double> figures() {
-        Map<String, Double> all = new java.util.LinkedHashMap<>();
-        all.put("service", service());
-        all.put("worst_10s", worst());
-        all.put("messages", (double) messages);
-        all.put("delivered", (double) delivered);
-        all.put("refused", (double) refused);
-        all.put("failed", (double) failed);
-        all.put("lost", (double) lost);
-        all.put("handed_in", (double) handed);
-        all.put("calls", (double) calls);
-        all.put("failed_calls", (double) failedCalls);
-        all.put("calls_in_trouble", (double) callsInTrouble);
-        all.put("connections", (double) connections);
-        all.put("most_dispatchers_at_endpoint", (double) mostConnected);
-        all.put("endpoint_max_over_mean", unevenness());
-        for (int i = 0; i < 3; i++) {
-            for (double p : new double[] {50, 99, 99.9}) {
-                all.put(
-                        Policies.CLASS_NAMES.get(i) + "_p" + (p == 99.9 ? "99_9" : Integer.toString((int) p)) + "_ms",
-                        latency[i].getValueAtPercentile(p) / 1_000.0);
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("service", service());
+        figures.put("worst_10s", worstService());
+        figures.put("messages", (double) requests);
+        figures.put("delivered", (double) delivered);
+        figures.put("refused", (double) rejected);
+        figures.put("failed", (double) failed);
+        figures.put("lost", (double) lost);
+        figures.put("handed_in", (double) submissions);
+        figures.put("calls", (double) callCount);
+        figures.put("failed_calls", (double) failedCallCount);
+        figures.put("calls_in_trouble", (double) callsInTrouble);
+        figures.put("connections", (double) connections);
+        figures.put("most_dispatchers_at_endpoint", (double) maxDispatchersAtEndpoint);
+        figures.put("endpoint_max_over_mean", endpointImbalance());
+        for (int i = 0; i < latencyMicros.length; i++) {
+            for (double percentile : REPORTED_PERCENTILES) {
+                String label = percentile == P99_9 ? "99_9" : Integer.toString((int) percentile);
+                double millis = latencyMicros[i].getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+                figures.put(Policies.CLASS_NAMES.get(i) + "_p" + label + "_ms", millis);
             }
         }
-        return all;
+        return figures;
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/WorldListeners.java
+++ b/src/main/java/elderseam/testkit/emulator/WorldListeners.java
@@ -4,76 +4,86 @@
 import elderseam.core.FinalOutcome;
 import java.util.List;
 
-/** Several that watch one world, each told in turn. */
+/** Passes each event on to several listeners, in their order. */
 final class WorldListeners implements WorldListener {
-    private final List<WorldListener> all;
+    private final List<WorldListener> listeners;
 
-    WorldListeners(List<WorldListener> all) {
-        this.all = List.copyOf(all);
+    WorldListeners(List<WorldListener> listeners) {
+        this.listeners = List.copyOf(listeners);
     }
 
     @Override
-    public void handedIn(long now, Msg m, boolean again) {
-        all.forEach(w -> w.handedIn(now, m, again));
+    public void submitted(long now, ClientRequest request, boolean again) {
+        listeners.forEach(listener -> listener.submitted(now, request, again));
     }
 
     @Override
-    public void taken(long now, int dispatcher, Msg m) {
-        all.forEach(w -> w.taken(now, dispatcher, m));
+    public void accepted(long now, int dispatcher, ClientRequest request) {
+        listeners.forEach(listener -> listener.accepted(now, dispatcher, request));
     }
 
     @Override
-    public void answered(long now, Msg m, FinalOutcome answer) {
-        all.forEach(w -> w.answered(now, m, answer));
+    public void answered(long now, ClientRequest request, FinalOutcome answer) {
+        listeners.forEach(listener -> listener.answered(now, request, answer));
     }
 
     @Override
-    public void over(long now, Msg m, FinalOutcome.Kind kind) {
-        all.forEach(w -> w.over(now, m, kind));
+    public void answeredUnexpectedly(long now, String requestId, FinalOutcome answer) {
+        listeners.forEach(listener -> listener.answeredUnexpectedly(now, requestId, answer));
     }
 
     @Override
-    public void called(long now, int dispatcher, Msg m, String endpoint) {
-        all.forEach(w -> w.called(now, dispatcher, m, endpoint));
+    public void finished(long now, ClientRequest request, FinalOutcome.Kind kind) {
+        listeners.forEach(listener -> listener.finished(now, request, kind));
     }
 
     @Override
-    public void connects(long now, int dispatcher, String endpoint, long until) {
-        all.forEach(w -> w.connects(now, dispatcher, endpoint, until));
+    public void lost(long now, ClientRequest request) {
+        listeners.forEach(listener -> listener.lost(now, request));
     }
 
     @Override
-    public void ended(long now, int dispatcher, Msg m, String endpoint, AttemptOutcome end) {
-        all.forEach(w -> w.ended(now, dispatcher, m, endpoint, end));
+    public void attemptSent(long now, int dispatcher, ClientRequest request, String endpoint) {
+        listeners.forEach(listener -> listener.attemptSent(now, dispatcher, request, endpoint));
     }
 
     @Override
-    public void ran(long now, Msg m) {
-        all.forEach(w -> w.ran(now, m));
+    public void connectionOpened(long now, int dispatcher, String endpoint, long idleUntil) {
+        listeners.forEach(listener -> listener.connectionOpened(now, dispatcher, endpoint, idleUntil));
     }
 
     @Override
-    public void waits(long now, int dispatcher, long destination, long until) {
-        all.forEach(w -> w.waits(now, dispatcher, destination, until));
+    public void attemptEnded(long now, int dispatcher, ClientRequest request, String endpoint, AttemptOutcome outcome) {
+        listeners.forEach(listener -> listener.attemptEnded(now, dispatcher, request, endpoint, outcome));
     }
 
     @Override
-    public void drains(long now, int dispatcher, String endpoint) {
-        all.forEach(w -> w.drains(now, dispatcher, endpoint));
+    public void executed(long now, ClientRequest request) {
+        listeners.forEach(listener -> listener.executed(now, request));
     }
 
     @Override
-    public void trouble(long now, long destination, boolean begins) {
-        all.forEach(w -> w.trouble(now, destination, begins));
+    public void retryAfterReceived(long now, int dispatcher, long destination, long until) {
+        listeners.forEach(listener -> listener.retryAfterReceived(now, dispatcher, destination, until));
     }
 
     @Override
-    public void felled(long now, long destination) {
-        all.forEach(w -> w.felled(now, destination));
+    public void drainReceived(long now, int dispatcher, String endpoint) {
+        listeners.forEach(listener -> listener.drainReceived(now, dispatcher, endpoint));
     }
 
     @Override
-    public void process(long now, int dispatcher, boolean up) {
-        all.forEach(w -> w.process(now, dispatcher, up));
+    public void troubleChanged(long now, long destination, boolean begins) {
+        listeners.forEach(listener -> listener.troubleChanged(now, destination, begins));
+    }
+
+    @Override
+    public void collapsed(long now, long destination) {
+        listeners.forEach(listener -> listener.collapsed(now, destination));
+    }
+
+    @Override
+    public void processChanged(long now, int dispatcher, boolean up) {
+        listeners.forEach(listener -> listener.processChanged(now, dispatcher, up));
     }
 }
--- a/src/main/java/elderseam/testkit/lab/ExperimentRun.java
+++ b/src/main/java/elderseam/testkit/lab/ExperimentRun.java
@@ -67,10 +67,10 @@
                 seed,
                 figures(statistics, checkers),
                 broken,
-                checkers.words(),
-                truncated(statistics.series(), seconds),
-                truncated(statistics.refusals(), seconds),
-                truncated(statistics.failedASecond(), seconds),
+                checkers.violations(),
+                truncated(statistics.serviceBySecond(), seconds),
+                truncated(statistics.rejectionsBySecond(), seconds),
+                truncated(statistics.failedCallsBySecond(), seconds),
                 breakers.opened(),
                 latencyPercentiles(statistics));
     }
@@ -86,7 +86,7 @@
 
     private static Map<String, Double> figures(RunStatistics statistics, RuleCheckers checkers) {
         Map<String, Double> figures = statistics.figures();
-        figures.put("felled", (double) checkers.felled());
+        figures.put("felled", (double) checkers.collapses());
         int brokenCount =
                 checkers.broken().values().stream().mapToInt(Integer::intValue).sum();
         figures.put("broken", (double) brokenCount);
@@ -98,7 +98,7 @@
         for (int requestClass = 0; requestClass < Policies.CLASS_NAMES.size(); requestClass++) {
             double[] millis = new double[PERCENTILES.length];
             for (int i = 0; i < PERCENTILES.length; i++) {
-                long micros = statistics.latency(requestClass).getValueAtPercentile(PERCENTILES[i]);
+                long micros = statistics.latencyMicros(requestClass).getValueAtPercentile(PERCENTILES[i]);
                 millis[i] = micros / MICROS_PER_MILLI;
             }
             latencies.put(Policies.CLASS_NAMES.get(requestClass), millis);
--- a/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
+++ b/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
@@ -62,7 +62,7 @@
                 "module",
                 1,
                 c);
-        assertEquals(Map.of(), c.broken(), c.words());
+        assertEquals(Map.of(), c.broken(), c.violations());
         assertTrue(f.get("service") > 0.75 && f.get("messages") > 1_000, f.toString());
     }
 
@@ -77,7 +77,7 @@
                 "module",
                 2,
                 c);
-        assertEquals(Map.of(), c.broken(), c.words());
+        assertEquals(Map.of(), c.broken(), c.violations());
     }
 
     /** Few messages each, most of them killed at once while discovery is overbooked: calls add up to little more than messages. */
@@ -95,9 +95,9 @@
         RunStatistics tally = new RunStatistics(plan);
         new EmulatedWorld(plan, "module", 4, List.of(tally, c)).run(s -> {});
         Map<String, Double> f = tally.figures();
-        assertEquals(Map.of(), c.broken(), c.words());
+        assertEquals(Map.of(), c.broken(), c.violations());
         assertTrue(f.get("service") > 0.7, f.toString());
-        assertTrue(java.util.Arrays.stream(tally.callsASecond()).sum() < 1.4 * f.get("messages"), f.toString());
+        assertTrue(java.util.Arrays.stream(tally.callsBySecond()).sum() < 1.4 * f.get("messages"), f.toString());
     }
 
     /** One seed gives one course, to the last figure; another seed another. */
@@ -138,7 +138,7 @@
     }
 
     private static EmulatedDestination.Reply call(EmulatedDestination d, long now) {
-        return d.call(now, 0, new WorldListener.Msg("m" + now, 0, 0, 1, 0, S), 1);
+        return d.call(now, 0, new WorldListener.ClientRequest("m" + now, 0, 0, 1, 0, S), 1);
     }
 
     @Test
@@ -171,7 +171,7 @@
         EmulatedDestination d = destination("limit = none\nslots = 2\nqueue = 3\n");
         List<Long> took = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            EmulatedDestination.Reply r = d.call(0, 0, new WorldListener.Msg("m" + i, 0, 0, 1, 0, S), 1);
+            EmulatedDestination.Reply r = d.call(0, 0, new WorldListener.ClientRequest("m" + i, 0, 0, 1, 0, S), 1);
             took.add(r.status() == Status.DELIVERED ? r.afterNs() / MS : -1);
         }
         assertEquals(List.of(10L, 10L, 20L, 20L, 30L, -1L), took);
@@ -190,7 +190,7 @@
                 Map.of());
         EmulatedDestination d = new EmulatedDestination(1, p.kinds().get(0), 1, new WorldListener() {
             @Override
-            public void felled(long now, long destination) {
+            public void collapsed(long now, long destination) {
                 felled[0]++;
             }
         });
--- a/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
+++ b/src/test/java/elderseam/testkit/emulator/RuleCheckersTest.java
@@ -158,8 +158,9 @@
     void aPlantedFaultIsCaught(Rule fault) throws Exception {
         RuleCheckers c = play(fault);
         assertTrue(
-                c.broken().getOrDefault(fault, 0) > 0, () -> fault + " is not among " + c.broken() + "\n" + c.words());
-        assertTrue(c.words().contains(fault.name()), c.words());
+                c.broken().getOrDefault(fault, 0) > 0,
+                () -> fault + " is not among " + c.broken() + "\n" + c.violations());
+        assertTrue(c.violations().contains(fault.name()), c.violations());
     }
 
     /** And without a fault nothing is said. */
