Emulator: a destination's limit is a type of its own, its replies say what they mean

EmulatedDestination mixed the rate limit, troubles, warming up and queues in a method above 40 lines, with -1 for 'never executed' and 'queue full'. CallLimiter holds the limit, the rest is one step a method, and the sentinels are optional values.

--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -185,10 +185,10 @@
         Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
             EmulatedDestination d = place.destination(destination);
             long told = waits.getOrDefault(destination, 0L);
-            if (!d.well(now) || now < told) {
+            if (!d.isServing(now) || now < told) {
                 return Verdict.later(Math.max(20_000_000, told - now));
             }
-            long wait = d.spare(now);
+            long wait = d.reserveCall(now);
             if (wait > 0) {
                 return Verdict.later(wait);
             }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedDestination.java
@@ -6,249 +6,296 @@
 import elderseam.testkit.emulator.WorldListener.ClientRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
 
 /**
- * A destination as all dispatchers meet it: a limit on calls a second, endpoints with slots and queues, service times, troubles, and a
- * cold return after one, in which it stands a share of its calls at first and falls over when pushed above a multiple of that.
+ * A destination as all dispatchers meet it: a limit on calls, endpoints with slots and queues, service times and troubles. After a
+ * trouble it is cold: it stands a share of its calls at first, more as it warms up, and collapses under more than a multiple of that.
  */
 final class EmulatedDestination {
-    private static final long MS = 1_000_000;
-    private static final long S = 1_000 * MS;
-    private static final double CHANCE = 8; // calls at once that say nothing: they come at random
-    private static final long ERROR_NS = 10 * MS;
-    private static final long FLAP_NS = S;
+    /** As a delay: no answer ever comes. */
+    static final long NEVER = Long.MAX_VALUE / 4;
+
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long CONNECT_REFUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long NO_SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+    private static final long REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long ERROR_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final long FLAP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Calls within a moment that don't make a cold destination collapse, since they may come together by chance. */
+    private static final double MIN_COLLAPSE_LOAD = 8;
+
+    /** Share of the calls to a hanging destination that are executed. */
+    private static final double HANG_EXECUTED_SHARE = 0.5;
 
-    /** What a call gets, so long after it came; {@code ranNs}: after how long the destination acts on it, -1 for never. */
-    record Reply(Progress progress, Status status, long afterNs, long waitNs, double left, double perS, long ranNs) {
-        static Reply of(Status status, long afterNs, long ranNs) {
-            return new Reply(Progress.ANSWERED, status, afterNs, 0, 0, 0, ranNs);
+    /** Share of what it stands that {@link #reserveCall} hands out. */
+    private static final double RESERVED_SHARE = 0.98;
+
+    /** Reserved calls that may go out at once: those of this part of a second. */
+    private static final double RESERVED_BURSTS_PER_SECOND = 40;
+
+    // Purposes of the random numbers of an attempt; normal numbers use up two each.
+    private static final int SERVICE_TIME = 1;
+    private static final int ERROR = 4;
+    private static final int EXECUTED_WHILE_HANGING = 5;
+    private static final int LIMIT_NOISE = 7;
+
+    /**
+     * How a call ends.
+     *
+     * @param afterNanos from the call's arrival to its answer; {@link #NEVER} if none comes
+     * @param retryAfterNanos how long the caller is asked to stay away; 0 if it is not asked
+     * @param headroom reported share of the limit that is left; 0 if none is reported
+     * @param limitPerSecond reported limit; 0 if none is reported
+     * @param executedAfterNanos from the call's arrival until it takes effect; empty if it never does
+     */
+    record Reply(
+            Progress progress,
+            Status status,
+            long afterNanos,
+            long retryAfterNanos,
+            double headroom,
+            double limitPerSecond,
+            OptionalLong executedAfterNanos) {
+        private static Reply notExecuted(Progress progress, Status status, long afterNanos) {
+            return new Reply(progress, status, afterNanos, 0, 0, 0, OptionalLong.empty());
+        }
+
+        private static Reply answered(Status status, long afterNanos) {
+            return notExecuted(Progress.ANSWERED, status, afterNanos);
+        }
+
+        private static Reply unanswered(OptionalLong executedAfterNanos) {
+            return new Reply(Progress.ANSWERED, Status.TIMED_OUT, NEVER, 0, 0, 0, executedAfterNanos);
+        }
+
+        private static Reply refused(long retryAfterNanos, double limitPerSecond) {
+            return new Reply(
+                    Progress.ANSWERED,
+                    Status.OVERLOADED,
+                    REFUSAL_NANOS,
+                    retryAfterNanos,
+                    0,
+                    limitPerSecond,
+                    OptionalLong.empty());
         }
     }
 
-    /** No answer ever comes. */
-    static final long NEVER = Long.MAX_VALUE / 4;
+    private record Trouble(long start, long end, Fault fault, double slowdown) {
+        boolean isActive(long now) {
+            return now >= start && now < end;
+        }
 
-    private record Spell(long from, long to, Fault fault, double factor) {}
+        /** Whether its fault shows: a flapping destination is well every other time. */
+        boolean affectsCalls(long now) {
+            return fault != Fault.FLAP || (now - start) / FLAP_NANOS % 2 == 0;
+        }
+    }
 
     final long id;
     final Scenario.Kind kind;
     final String[] endpoints;
     private final long seed;
-    private final WorldListener watcher;
-    private final List<Spell> spells = new ArrayList<>();
-    private final List<PriorityQueue<Long>> busy = new ArrayList<>(); // of each endpoint: when its calls are done
-    private double bucket;
-    private double load;
-    private long bucketAt;
-    private long loadAt;
-    private long window;
-    private long inWindow;
-    private long warmFrom = Long.MIN_VALUE / 2;
-    private long downUntil;
-    private double spare = 1;
-    private long spareAt;
-
-    EmulatedDestination(long id, Scenario.Kind kind, long seed, WorldListener watcher) {
+    private final WorldListener listener;
+    private final CallLimiter limiter;
+    private final List<Trouble> troubles = new ArrayList<>();
+
+    /** By endpoint: when each call that it serves or queues will be done. */
+    private final List<PriorityQueue<Long>> completions = new ArrayList<>();
+
+    /** When it last began to warm up; long ago if it never was cold. */
+    private long warmingSince = Long.MIN_VALUE / 2;
+
+    private long collapsedUntil;
+
+    /** Recent calls while cold; it drains at the rate under which the destination collapses. */
+    private double coldLoad;
+
+    private long coldLoadAt;
+    private double reservableCalls = 1;
+    private long reservableAt;
+
+    EmulatedDestination(long id, Scenario.Kind kind, long seed, WorldListener listener) {
         this.id = id;
         this.kind = kind;
         this.seed = seed;
-        this.watcher = watcher;
+        this.listener = listener;
+        this.limiter = new CallLimiter(kind);
         this.endpoints = new String[kind.endpoints()];
         for (int i = 0; i < endpoints.length; i++) {
             endpoints[i] = "d" + id + "e" + i;
-            busy.add(new PriorityQueue<>());
+            completions.add(new PriorityQueue<>());
         }
-        bucket = burst();
     }
 
-    void trouble(long from, long to, Fault fault, double factor) {
-        spells.add(new Spell(from, to, fault, factor));
+    void addTrouble(long start, long end, Fault fault, double slowdown) {
+        troubles.add(new Trouble(start, end, fault, slowdown));
     }
 
-    /** Its trouble is over: it is cold from now on. */
-    void returns(long now) {
-        warmFrom = now;
-        load = 0;
-        loadAt = now;
+    /** It is cold from now on. */
+    void startWarmingUp(long now) {
+        warmingSince = now;
+        coldLoad = 0;
+        coldLoadAt = now;
     }
 
-    private Spell spell(long now) {
-        for (Spell s : spells) {
-            if (now >= s.from && now < s.to) {
-                return s;
+    private Optional<Trouble> activeTrouble(long now) {
+        for (Trouble trouble : troubles) {
+            if (trouble.isActive(now)) {
+                return Optional.of(trouble);
             }
         }
-        return null;
+        return Optional.empty();
     }
 
-    /** Whether calls that begin now would be served as usual; for policies that may know. */
-    boolean well(long now) {
-        Spell s = spell(now);
-        return now >= downUntil && (s == null || s.fault == Fault.SLOW);
+    /** Whether calls that begin now would be served, if slowly; for a policy that knows all. */
+    boolean isServing(long now) {
+        return now >= collapsedUntil
+                && activeTrouble(now)
+                        .map(trouble -> trouble.fault == Fault.SLOW)
+                        .orElse(true);
     }
 
     /** Calls a second that it stands now. */
-    double stands(long now) {
-        double warm = kind.coldMs() == 0 ? 1 : Math.min(1, (double) (now - warmFrom) / (kind.coldMs() * MS));
-        return kind.callsPerSecond() * (kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, warm));
+    private double sustainableCalls(long now) {
+        double warmShare =
+                kind.coldMs() == 0 ? 1 : Math.min(1, (double) (now - warmingSince) / (kind.coldMs() * NANOS_PER_MILLI));
+        double coldShare = kind.coldShare();
+        return kind.callsPerSecond() * (coldShare + (1 - coldShare) * Math.max(0, warmShare));
     }
 
-    /** Room for one more call now, taken; or how long until there is: of all dispatchers together, for the policy that knows all. */
-    long spare(long now) {
-        double rate = stands(now) * 0.98;
-        spare = Math.min(Math.max(1, rate / 40), spare + (now - spareAt) / (double) S * rate);
-        spareAt = now;
-        if (spare < 1) {
-            return (long) ((1 - spare) / rate * S);
+    /**
+     * Reserves a call within what the destination stands, from all dispatchers together; for a policy that knows all.
+     *
+     * @return 0 if the call may go out now, otherwise how many nanoseconds to wait before asking again
+     */
+    long reserveCall(long now) {
+        double rate = sustainableCalls(now) * RESERVED_SHARE;
+        double burst = Math.max(1, rate / RESERVED_BURSTS_PER_SECOND);
+        reservableCalls = Math.min(burst, reservableCalls + (now - reservableAt) / NANOS_PER_SECOND * rate);
+        reservableAt = now;
+        if (reservableCalls < 1) {
+            return (long) ((1 - reservableCalls) / rate * NANOS_PER_SECOND);
         }
-        spare--;
+        reservableCalls--;
         return 0;
     }
 
-    private double burst() {
-        return Math.max(4, kind.callsPerSecond() / 4);
-    }
-
-    /** A call has come to an endpoint. */
-    Reply call(long now, int endpoint, ClientRequest m, int attempt) {
-        Spell s = spell(now);
-        long service = (long) (kind.serviceMs()
-                * MS
-                * Math.exp(kind.spread() * RandomStreams.normal(seed, m.id(), attempt, 1)
-                        - kind.spread() * kind.spread() / 2));
-        if (s != null && (s.fault != Fault.FLAP || (now - s.from) / FLAP_NS % 2 == 0)) {
-            switch (s.fault) {
-                case FAIL, FLAP -> {
-                    return new Reply(Progress.NOT_CONNECTED, Status.BROKEN, MS, 0, 0, 0, -1);
-                }
-                case ERRORS -> {
-                    return Reply.of(Status.ERROR, ERROR_NS, -1);
-                }
-                case SHUT -> {
-                    return new Reply(
-                            Progress.ANSWERED,
-                            Status.OVERLOADED,
-                            5 * MS,
-                            kind.sendsRetryAfter() ? s.to - now : 0,
-                            0,
-                            0,
-                            -1);
-                }
-                case HANG -> { // half of what hangs was acted on
-                    return Reply.of(
-                            Status.TIMED_OUT, NEVER, RandomStreams.unit(seed, m.id(), attempt, 5) < 0.5 ? service : -1);
-                }
-                case SILENT -> {
-                    return new Reply(Progress.NOT_CONNECTED, Status.TIMED_OUT, NEVER, 0, 0, 0, -1);
-                }
-                case HALF_OPEN -> {
-                    return Reply.of(Status.TIMED_OUT, NEVER, service);
-                }
-                default -> service = (long) (service * s.factor);
-            }
+    /** A call has arrived at an endpoint. */
+    Reply call(long now, int endpoint, ClientRequest request, int attempt) {
+        long serviceNanos = serviceNanos(request, attempt);
+        Optional<Trouble> trouble = activeTrouble(now).filter(active -> active.affectsCalls(now));
+        if (trouble.isPresent() && trouble.get().fault == Fault.SLOW) {
+            serviceNanos = (long) (serviceNanos * trouble.get().slowdown);
+        } else if (trouble.isPresent()) {
+            return replyInTrouble(trouble.get(), now, request, attempt, serviceNanos);
         }
-        if (now < downUntil) {
-            return Reply.of(Status.ERROR, ERROR_NS, -1);
+        if (now < collapsedUntil || collapses(now)) {
+            return Reply.answered(Status.ERROR, ERROR_NANOS);
         }
-        if (pushedOver(now)) {
-            return Reply.of(Status.ERROR, ERROR_NS, -1);
+        long limitWaitNanos = limiter.waitNanos(now);
+        if (limitWaitNanos > 0) {
+            return Reply.refused(retryAfter(limitWaitNanos), reportedLimit(request, attempt));
         }
-        long wait = limited(now);
-        if (wait > 0) {
-            return new Reply(
-                    Progress.ANSWERED,
-                    Status.OVERLOADED,
-                    5 * MS,
-                    kind.sendsRetryAfter() ? wait : 0,
-                    0,
-                    reported(m, attempt),
-                    -1);
-        }
-        long queued = kind.slots() == 0 ? 0 : queued(now, busy.get(endpoint), service);
-        if (queued < 0) {
-            return Reply.of(Status.NO_SLOT, 2 * MS, -1);
-        }
-        if (RandomStreams.unit(seed, m.id(), attempt, 4) < kind.errorShare()) {
-            return Reply.of(Status.ERROR, ERROR_NS, -1);
-        }
-        return new Reply(
-                Progress.ANSWERED,
-                Status.DELIVERED,
-                queued + service,
-                0,
-                left(),
-                reported(m, attempt),
-                queued + service);
+        return serve(now, endpoint, request, attempt, serviceNanos);
+    }
+
+    /** Draws from a log-normal distribution whose mean is the kind's service time. */
+    private long serviceNanos(ClientRequest request, int attempt) {
+        double spread = kind.spread();
+        double exponent =
+                spread * RandomStreams.normal(seed, request.id(), attempt, SERVICE_TIME) - spread * spread / 2;
+        return (long) (kind.serviceMs() * NANOS_PER_MILLI * Math.exp(exponent));
+    }
+
+    private Reply replyInTrouble(Trouble trouble, long now, ClientRequest request, int attempt, long serviceNanos) {
+        return switch (trouble.fault) {
+            case FAIL, FLAP -> Reply.notExecuted(Progress.NOT_CONNECTED, Status.BROKEN, CONNECT_REFUSED_NANOS);
+            case ERRORS -> Reply.answered(Status.ERROR, ERROR_NANOS);
+            case SHUT -> Reply.refused(retryAfter(trouble.end - now), 0);
+            case HANG -> {
+                double chance = RandomStreams.unit(seed, request.id(), attempt, EXECUTED_WHILE_HANGING);
+                boolean executed = chance < HANG_EXECUTED_SHARE;
+                yield Reply.unanswered(executed ? OptionalLong.of(serviceNanos) : OptionalLong.empty());
+            }
+            case SILENT -> Reply.notExecuted(Progress.NOT_CONNECTED, Status.TIMED_OUT, NEVER);
+            case HALF_OPEN -> Reply.unanswered(OptionalLong.of(serviceNanos));
+            case SLOW -> throw new IllegalStateException("a slow destination serves its calls");
+        };
+    }
+
+    private long retryAfter(long waitNanos) {
+        return kind.sendsRetryAfter() ? waitNanos : 0;
     }
 
-    /** While it warms up it stands less, and falls over for a time when pushed above a multiple of that. */
-    private boolean pushedOver(long now) {
-        if (now - warmFrom >= kind.coldMs() * MS) {
+    /** Counts a call while cold, and collapses if it is one too many. */
+    private boolean collapses(long now) {
+        if (now - warmingSince >= kind.coldMs() * NANOS_PER_MILLI) {
             return false;
         }
-        double fells = kind.collapseMultiple() * stands(now);
-        load = Math.max(0, load - Math.max(0, now - loadAt) / (double) S * fells) + 1;
-        loadAt = now;
-        if (load <= Math.max(CHANCE, fells)) {
+        double collapseRate = kind.collapseMultiple() * sustainableCalls(now);
+        double drained = Math.max(0, now - coldLoadAt) / NANOS_PER_SECOND * collapseRate;
+        coldLoad = Math.max(0, coldLoad - drained) + 1;
+        coldLoadAt = now;
+        if (coldLoad <= Math.max(MIN_COLLAPSE_LOAD, collapseRate)) {
             return false;
         }
-        downUntil = now + kind.collapseMs() * MS;
-        returns(downUntil);
-        watcher.collapsed(now, id);
+        collapsedUntil = now + kind.collapseMs() * NANOS_PER_MILLI;
+        startWarmingUp(collapsedUntil);
+        listener.collapsed(now, id);
         return true;
     }
 
-    /** How long to stay away, or 0 where the limit lets the call pass. */
-    private long limited(long now) {
-        switch (kind.limit()) {
-            case RATE -> {
-                bucket = Math.min(burst(), bucket + Math.max(0, now - bucketAt) / (double) S * kind.callsPerSecond());
-                bucketAt = Math.max(bucketAt, now);
-                boolean passes = bucket >= 1;
-                bucket -= passes ? 1 : kind.countsRefusedCalls() ? Math.min(1, bucket + burst()) : 0;
-                return passes ? 0 : Math.max(50 * MS, (long) ((1 - bucket) / kind.callsPerSecond() * S));
-            }
-            case WINDOW -> {
-                long number = now / (kind.windowMs() * MS);
-                inWindow = number == window ? inWindow : 0;
-                window = number;
-                boolean passes = inWindow < Math.max(1, kind.callsPerSecond() * kind.windowMs() / 1_000);
-                inWindow += passes || kind.countsRefusedCalls() ? 1 : 0;
-                return passes ? 0 : Math.max(MS, (number + 1) * kind.windowMs() * MS - now);
-            }
-            default -> {
-                return 0;
-            }
+    private Reply serve(long now, int endpoint, ClientRequest request, int attempt, long serviceNanos) {
+        OptionalLong queueNanos =
+                kind.slots() == 0 ? OptionalLong.of(0) : enqueue(now, completions.get(endpoint), serviceNanos);
+        if (queueNanos.isEmpty()) {
+            return Reply.answered(Status.NO_SLOT, NO_SLOT_NANOS);
+        }
+        if (RandomStreams.unit(seed, request.id(), attempt, ERROR) < kind.errorShare()) {
+            return Reply.answered(Status.ERROR, ERROR_NANOS);
         }
+        long afterNanos = queueNanos.getAsLong() + serviceNanos;
+        double headroom = kind.reportsLimit() ? limiter.headroom() : 0;
+        return new Reply(
+                Progress.ANSWERED,
+                Status.DELIVERED,
+                afterNanos,
+                0,
+                headroom,
+                reportedLimit(request, attempt),
+                OptionalLong.of(afterNanos));
     }
 
-    /** How long it waits for a slot; -1 where the queue is full. */
-    private long queued(long now, PriorityQueue<Long> ends, long service) {
-        while (!ends.isEmpty() && ends.peek() <= now) {
-            ends.poll();
+    /** Adds a call to an endpoint; returns how long it waits for a slot, or nothing if the queue is full. */
+    private OptionalLong enqueue(long now, PriorityQueue<Long> endpointCompletions, long serviceNanos) {
+        while (!endpointCompletions.isEmpty() && endpointCompletions.peek() <= now) {
+            endpointCompletions.poll();
         }
-        if (ends.size() >= kind.slots() + kind.queueLength()) {
-            return -1;
+        int inside = endpointCompletions.size();
+        if (inside >= kind.slots() + kind.queueLength()) {
+            return OptionalLong.empty();
         }
         long start = now;
-        if (ends.size() >= kind.slots()) { // as many must end first as are above the slots
-            List<Long> order = new ArrayList<>(ends);
-            order.sort(null);
-            start = order.get(ends.size() - kind.slots());
+        if (inside >= kind.slots()) {
+            List<Long> ordered = new ArrayList<>(endpointCompletions);
+            ordered.sort(null);
+            start = ordered.get(inside - kind.slots()); // those above the slots wait in front of it
         }
-        ends.add(start + service);
-        return start - now;
+        endpointCompletions.add(start + serviceNanos);
+        return OptionalLong.of(start - now);
     }
 
-    private double left() {
-        return kind.reportsLimit() ? Math.max(0.001, Math.min(1, bucket / burst())) : 0;
-    }
-
-    private double reported(ClientRequest m, int attempt) {
-        return kind.reportsLimit()
-                ? kind.callsPerSecond()
-                        * Math.max(0.1, 1 + kind.reportNoise() * RandomStreams.normal(seed, m.id(), attempt, 7))
-                : 0;
+    private double reportedLimit(ClientRequest request, int attempt) {
+        if (!kind.reportsLimit()) {
+            return 0;
+        }
+        double noise = kind.reportNoise() * RandomStreams.normal(seed, request.id(), attempt, LIMIT_NOISE);
+        return kind.callsPerSecond() * Math.max(0.1, 1 + noise);
     }
 }
--- a/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedNetwork.java
@@ -122,12 +122,12 @@
             }
             EmulatedDestination.Reply r = to.call(time.now() + way, endpoint, m, number);
             progress = r.progress() == Progress.NOT_CONNECTED ? Progress.NOT_CONNECTED : Progress.WRITTEN;
-            if (r.ranNs() >= 0) {
-                time.at(time.now() + way + r.ranNs(), () -> watcher.executed(time.now(), m));
+            if (r.executedAfterNanos().isPresent()) {
+                time.at(time.now() + way + r.executedAfterNanos().getAsLong(), () -> watcher.executed(time.now(), m));
             }
-            long back = r.afterNs() >= EmulatedDestination.NEVER
+            long back = r.afterNanos() >= EmulatedDestination.NEVER
                     ? EmulatedDestination.NEVER
-                    : time.now() + way + r.afterNs() + delay(m.id(), number, 16);
+                    : time.now() + way + r.afterNanos() + delay(m.id(), number, 16);
             if (lost) {
                 time.at(
                         Math.min(answerBy, back),
@@ -143,12 +143,13 @@
         }
 
         private void answered(EmulatedDestination.Reply r) {
-            AttemptOutcome end = new AttemptOutcome(r.progress(), r.status(), r.waitNs(), r.left(), r.perS());
+            AttemptOutcome end =
+                    new AttemptOutcome(r.progress(), r.status(), r.retryAfterNanos(), r.headroom(), r.limitPerSecond());
             if (!alive.getAsBoolean()) {
                 return;
             }
-            if (r.waitNs() > 0) {
-                watcher.retryAfterReceived(time.now(), dispatcher, to.id, time.now() + r.waitNs());
+            if (r.retryAfterNanos() > 0) {
+                watcher.retryAfterReceived(time.now(), dispatcher, to.id, time.now() + r.retryAfterNanos());
             }
             if (!over) {
                 ends(end);
--- a/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
+++ b/src/main/java/elderseam/testkit/emulator/EmulatedWorld.java
@@ -248,11 +248,11 @@
             long from = (long) (t.start() * S);
             long to = (long) (t.end() * S);
             for (EmulatedDestination d : part(t.kind(), t.share(), t.name())) {
-                d.trouble(from, to, t.fault(), t.slowdown());
+                d.addTrouble(from, to, t.fault(), t.slowdown());
                 time.at(from, () -> watcher.troubleChanged(time.now(), d.id, true));
                 time.at(to, () -> {
                     if (t.fault() != Scenario.Fault.SLOW) {
-                        d.returns(to);
+                        d.startWarmingUp(to);
                     }
                     watcher.troubleChanged(time.now(), d.id, false);
                 });
--- a/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
+++ b/src/test/java/elderseam/testkit/emulator/EmulatedWorldTest.java
@@ -148,7 +148,9 @@
         for (long t = 0; t < 10 * S; t += 10 * MS) {
             EmulatedDestination.Reply r = call(d, t);
             passed += r.status() == Status.DELIVERED ? 1 : 0;
-            assertTrue(r.status() == Status.DELIVERED || (r.waitNs() > 0 && r.waitNs() <= 150 * MS), r.toString());
+            assertTrue(
+                    r.status() == Status.DELIVERED || (r.retryAfterNanos() > 0 && r.retryAfterNanos() <= 150 * MS),
+                    r.toString());
         }
         assertEquals(104, passed, 1);
     }
@@ -172,10 +174,10 @@
         List<Long> took = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             EmulatedDestination.Reply r = d.call(0, 0, new WorldListener.ClientRequest("m" + i, 0, 0, 1, 0, S), 1);
-            took.add(r.status() == Status.DELIVERED ? r.afterNs() / MS : -1);
+            took.add(r.status() == Status.DELIVERED ? r.afterNanos() / MS : -1);
         }
         assertEquals(List.of(10L, 10L, 20L, 20L, 30L, -1L), took);
-        assertEquals(10, call(d, 40 * MS).afterNs() / MS);
+        assertEquals(10, call(d, 40 * MS).afterNanos() / MS);
     }
 
     /** Cold after its trouble it stands a quarter, and falls when pushed; warmed up it stands all. */
@@ -194,9 +196,9 @@
                 felled[0]++;
             }
         });
-        d.trouble(0, S, Scenario.Fault.FAIL, 1);
+        d.addTrouble(0, S, Scenario.Fault.FAIL, 1);
         assertEquals(Progress.NOT_CONNECTED, call(d, 0).progress());
-        d.returns(S);
+        d.startWarmingUp(S);
         for (long t = S; t < 3 * S; t += 25 * MS) {
             call(d, t);
         }
