--- a/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
+++ b/src/main/java/elderseam/testkit/emulator/BaselinePolicy.java
@@ -1,6 +1,5 @@
 package elderseam.testkit.emulator;
 
-import elderseam.core.ActiveRequest;
 import elderseam.core.AttemptOutcome;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.policy.ListedEndpoint;
@@ -8,86 +7,128 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
-/** Whether a call may go out now, and to which of a destination's endpoints: policies to compare the module with. */
+/**
+ * Decides whether an attempt may go out now, and to which of a destination's endpoints. The subclasses are simple policies to compare
+ * the dispatcher's own with. One instance belongs to one dispatcher; times are nanoseconds of virtual time.
+ */
 abstract class BaselinePolicy {
-    /** An endpoint; or to ask again later; or that the message is to be refused. */
-    record Verdict(String endpoint, boolean refuse, long laterNs) {
-        static Verdict to(String endpoint) {
-            return new Verdict(endpoint, false, 0);
-        }
+    private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-        static Verdict later(long ns) {
-            return new Verdict(null, false, Math.max(1_000_000, ns));
-        }
-    }
+    /** How long to wait where no better time is known. */
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    /** What to do with a request now. */
+    sealed interface Decision permits Send, Wait, Reject {}
+
+    /** Send it to an endpoint. */
+    record Send(String endpoint) implements Decision {}
+
+    /** Ask again after a time. */
+    record Wait(long nanos) implements Decision {}
+
+    /** Give it up. */
+    record Reject() implements Decision {}
+
+    private static final Reject REJECT = new Reject();
 
-    static final Verdict REFUSE = new Verdict(null, true, 0);
     private final Map<Long, Integer> turns = new HashMap<>();
 
-    abstract Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now);
+    /** Decides on a request; {@code endpoints} holds at least one. */
+    abstract Decision decide(long destination, List<String> endpoints, long now);
+
+    /** An endpoint was listed, or its listing has changed. */
+    void listed(ListedEndpoint endpoint) {}
 
-    void listed(ListedEndpoint e) {}
+    /** An attempt was sent, as decided. */
+    void sent(long destination, String endpoint) {}
 
-    void sent(long destination, String endpoint, long now) {}
+    /** An attempt has ended. */
+    void ended(long destination, String endpoint, long latencyNanos, AttemptOutcome outcome, long now) {}
 
-    void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {}
+    /** A decision to wait, for one millisecond at least. */
+    static Wait waitFor(long nanos) {
+        return new Wait(Math.max(MIN_WAIT_NANOS, nanos));
+    }
+
+    /** A decision to send to the next endpoint of a destination, in turn. */
+    final Send sendToNext(long destination, List<String> endpoints) {
+        return new Send(next(destination, endpoints));
+    }
 
-    final String next(long destination, List<String> of) {
-        return of.get(Math.floorMod(turns.merge(destination, 1, Integer::sum), of.size()));
+    final String next(long destination, List<String> endpoints) {
+        int turn = turns.merge(destination, 1, Integer::sum);
+        return endpoints.get(Math.floorMod(turn, endpoints.size()));
     }
 
     /** One after the other, with retries that back off. */
     static final class RoundRobin extends BaselinePolicy {
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            return Verdict.to(next(destination, of));
+        Decision decide(long destination, List<String> endpoints, long now) {
+            return sendToNext(destination, endpoints);
         }
     }
 
     /** The endpoint with the fewest calls out. */
     static final class LeastInFlight extends BaselinePolicy {
-        private final Map<String, Integer> out = new HashMap<>();
+        private final Map<String, Integer> inFlight = new HashMap<>();
 
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            String best = next(destination, of);
-            for (String e : of) {
-                best = out.getOrDefault(e, 0) < out.getOrDefault(best, 0) ? e : best;
+        Decision decide(long destination, List<String> endpoints, long now) {
+            String best = next(destination, endpoints);
+            for (String endpoint : endpoints) {
+                if (inFlight.getOrDefault(endpoint, 0) < inFlight.getOrDefault(best, 0)) {
+                    best = endpoint;
+                }
             }
-            return Verdict.to(best);
+            return new Send(best);
         }
 
         @Override
-        void sent(long destination, String endpoint, long now) {
-            out.merge(endpoint, 1, Integer::sum);
+        void sent(long destination, String endpoint) {
+            inFlight.merge(endpoint, 1, Integer::sum);
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
-            out.merge(endpoint, -1, Integer::sum);
+        void ended(long destination, String endpoint, long latencyNanos, AttemptOutcome outcome, long now) {
+            inFlight.merge(endpoint, -1, Integer::sum);
         }
     }
 
     /** A token bucket for each destination, of its listed rate: of all senders, as one that does not know the others. */
     static final class TokenBucket extends BaselinePolicy {
-        private final Map<Long, double[]> buckets = new HashMap<>(); // tokens, when, rate
+        private static final class Bucket {
+            private double tokens;
+            private long refilledAt;
+            private double rate;
+
+            private Bucket(double tokens) {
+                this.tokens = tokens;
+            }
+        }
+
+        private final Map<Long, Bucket> buckets = new HashMap<>();
 
         @Override
-        void listed(ListedEndpoint e) {
-            buckets.computeIfAbsent(e.destination(), d -> new double[] {e.weight() / 4, 0, 0})[2] = e.weight();
+        void listed(ListedEndpoint endpoint) {
+            double rate = endpoint.weight();
+            buckets.computeIfAbsent(endpoint.destination(), any -> new Bucket(rate / 4)).rate = rate;
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            double[] b = buckets.get(destination);
-            b[0] = Math.min(Math.max(1, b[2] / 4), b[0] + (now - b[1]) / 1e9 * b[2]);
-            b[1] = now;
-            if (b[0] < 1) {
-                return Verdict.later((long) ((1 - b[0]) / b[2] * 1e9));
+        Decision decide(long destination, List<String> endpoints, long now) {
+            Bucket bucket = buckets.get(destination);
+            double refill = (now - bucket.refilledAt) / NANOS_PER_SECOND * bucket.rate;
+            bucket.tokens = Math.min(Math.max(1, bucket.rate / 4), bucket.tokens + refill);
+            bucket.refilledAt = now;
+            if (bucket.tokens < 1) {
+                return waitFor((long) ((1 - bucket.tokens) / bucket.rate * NANOS_PER_SECOND));
             }
-            b[0]--;
-            return Verdict.to(next(destination, of));
+            bucket.tokens--;
+            return sendToNext(destination, endpoints);
         }
     }
 
@@ -98,40 +139,48 @@
     static final class Gradient extends BaselinePolicy {
         private static final double SMOOTHING = 0.2;
         private static final double TOLERANCE = 1.5;
-        private static final double DROP = 0.9;
+        private static final double BACKOFF_RATIO = 0.9;
+        private static final double MIN_GRADIENT = 0.5;
+        private static final double LONG_TERM_WEIGHT = 0.99;
+        private static final double PRESENT_WEIGHT = 0.01;
+        private static final double INITIAL_LIMIT = 20;
+        private static final double MAX_LIMIT = 400;
 
         private static final class State {
-            double limit = 20;
-            double longRtt;
-            int out;
+            private double limit = INITIAL_LIMIT;
+            private double longTermLatency;
+            private int inFlight;
         }
 
         private final Map<Long, State> states = new HashMap<>();
 
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            State s = states.computeIfAbsent(destination, d -> new State());
-            return s.out < s.limit ? Verdict.to(next(destination, of)) : Verdict.later(20_000_000);
+        Decision decide(long destination, List<String> endpoints, long now) {
+            State state = states.computeIfAbsent(destination, any -> new State());
+            return state.inFlight < state.limit ? sendToNext(destination, endpoints) : waitFor(POLL_NANOS);
         }
 
         @Override
-        void sent(long destination, String endpoint, long now) {
-            states.get(destination).out++;
+        void sent(long destination, String endpoint) {
+            states.get(destination).inFlight++;
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
-            State s = states.get(destination);
-            s.out--;
-            if (end.status() != Status.DELIVERED) {
-                s.limit = Math.max(1, s.limit * DROP);
+        void ended(long destination, String endpoint, long latencyNanos, AttemptOutcome outcome, long now) {
+            State state = states.get(destination);
+            state.inFlight--;
+            if (outcome.status() != Status.DELIVERED) {
+                state.limit = Math.max(1, state.limit * BACKOFF_RATIO);
                 return;
             }
-            s.longRtt = s.longRtt == 0 ? tookNs : s.longRtt * 0.99 + tookNs * 0.01;
-            double gradient = Math.max(0.5, Math.min(1, TOLERANCE * s.longRtt / tookNs));
-            s.limit = Math.max(
-                    1,
-                    Math.min(400, s.limit * (1 - SMOOTHING) + SMOOTHING * (s.limit * gradient + Math.sqrt(s.limit))));
+            state.longTermLatency = state.longTermLatency == 0
+                    ? latencyNanos
+                    : state.longTermLatency * LONG_TERM_WEIGHT + latencyNanos * PRESENT_WEIGHT;
+            double ratio = TOLERANCE * state.longTermLatency / latencyNanos;
+            double gradient = Math.max(MIN_GRADIENT, Math.min(1, ratio));
+            double target = state.limit * gradient + Math.sqrt(state.limit);
+            double smoothed = state.limit * (1 - SMOOTHING) + SMOOTHING * target;
+            state.limit = Math.max(1, Math.min(MAX_LIMIT, smoothed));
         }
     }
 
@@ -141,64 +190,75 @@
      */
     static final class Throttle extends BaselinePolicy {
         private static final double K = 2;
-        private static final double HALF_LIFE_NS = 60e9;
+        private static final double HALF_LIFE_NANOS = TimeUnit.MINUTES.toNanos(1);
+
+        private static final class Counts {
+            private double asked;
+            private double accepted;
+            private long updatedAt;
+        }
 
         private final SplittableRandom random;
-        private final Map<Long, double[]> counts = new HashMap<>(); // asked, accepted, when
+        private final Map<Long, Counts> counts = new HashMap<>();
 
         Throttle(long seed) {
             random = new SplittableRandom(seed);
         }
 
-        private double[] at(long destination, long now) {
-            double[] c = counts.computeIfAbsent(destination, d -> new double[3]);
-            double kept = Math.pow(0.5, (now - c[2]) / HALF_LIFE_NS);
-            c[0] *= kept;
-            c[1] *= kept;
-            c[2] = now;
-            return c;
+        /** The counts of a destination, decayed to the present. */
+        private Counts countsAt(long destination, long now) {
+            Counts current = counts.computeIfAbsent(destination, any -> new Counts());
+            double kept = Math.pow(0.5, (now - current.updatedAt) / HALF_LIFE_NANOS);
+            current.asked *= kept;
+            current.accepted *= kept;
+            current.updatedAt = now;
+            return current;
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            double[] c = at(destination, now);
-            c[0]++;
-            return random.nextDouble() < (c[0] - K * c[1]) / (c[0] + 1) ? REFUSE : Verdict.to(next(destination, of));
+        Decision decide(long destination, List<String> endpoints, long now) {
+            Counts current = countsAt(destination, now);
+            current.asked++;
+            double rejectProbability = (current.asked - K * current.accepted) / (current.asked + 1);
+            return random.nextDouble() < rejectProbability ? REJECT : sendToNext(destination, endpoints);
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
-            at(destination, now)[1] += end.status() == Status.DELIVERED ? 1 : 0;
+        void ended(long destination, String endpoint, long latencyNanos, AttemptOutcome outcome, long now) {
+            Counts current = countsAt(destination, now);
+            if (outcome.status() == Status.DELIVERED) {
+                current.accepted++;
+            }
         }
     }
 
     /** Knows how each destination really is, and that no other dispatcher has its room: what could be had, not what can. */
     static final class Oracle extends BaselinePolicy {
         private final EmulatedDispatcher.Place place;
-        private final Map<Long, Long> waits = new HashMap<>(); // it keeps the rules all the same
+        private final Map<Long, Long> retryAfter = new HashMap<>();
 
         Oracle(EmulatedDispatcher.Place place) {
             this.place = place;
         }
 
         @Override
-        Verdict pick(long destination, List<String> of, ActiveRequest.Message m, int attempts, long now) {
-            EmulatedDestination d = place.destination(destination);
-            long told = waits.getOrDefault(destination, 0L);
-            if (!d.isServing(now) || now < told) {
-                return Verdict.later(Math.max(20_000_000, told - now));
+        Decision decide(long destination, List<String> endpoints, long now) {
+            EmulatedDestination known = place.destination(destination);
+            long until = retryAfter.getOrDefault(destination, 0L);
+            if (!known.isServing(now) || now < until) {
+                return waitFor(Math.max(POLL_NANOS, until - now));
             }
-            long wait = d.reserveCall(now);
-            if (wait > 0) {
-                return Verdict.later(wait);
+            long waitNanos = known.reserveCall(now);
+            if (waitNanos > 0) {
+                return waitFor(waitNanos);
             }
-            return Verdict.to(next(destination, of));
+            return sendToNext(destination, endpoints);
         }
 
         @Override
-        void ended(long destination, String endpoint, long tookNs, AttemptOutcome end, long now) {
-            if (end.retryAfterNs() > 0) {
-                waits.merge(destination, now + end.retryAfterNs(), Math::max);
+        void ended(long destination, String endpoint, long latencyNanos, AttemptOutcome outcome, long now) {
+            if (outcome.retryAfterNs() > 0) {
+                retryAfter.merge(destination, now + outcome.retryAfterNs(), Math::max);
             }
         }
     }
--- a/src/main/java/elderseam/testkit/emulator/Policies.java
+++ b/src/main/java/elderseam/testkit/emulator/Policies.java
@@ -49,7 +49,7 @@
         ALL.put(
                 "oracle",
                 (place, store, seed) ->
-                        new BaselineDispatcher(place, new BaselinePolicy.Oracle(place), store.survivingMessages));
+                        new BaselineDispatcher(place, new BaselinePolicy.Oracle(place), store.survivingRequests));
     }
 
     private Policies() {}
