Requests carry their ordering key to the core; steps and reasons of each are logged

Change: front ends read the key (thread, partitionkey) in classes that keep their order; the core logs each step of a request at DEBUG (off by default) and a summary of what was not delivered with reasons at INFO; the policy gives a reason with each rejection and failure; counters undelivered.REASON. The policy still sees no key: nothing about order changes yet.

--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -26,6 +26,8 @@
      * @param body forwarded unread
      * @param deduplicationKey by an operator's rule, messages with the same key are one message; begins with the name
      *     of the rule's key scheme and a colon; empty for none
+     * @param orderKey messages of an ordered class with the same key are attempted one at a time, in the order in
+     *     which they were accepted; empty for none
      */
     public record Message(
             String id,
@@ -39,8 +41,9 @@
             boolean retriesWithinKeyWindow,
             String idempotencyKey,
             byte[] body,
-            String deduplicationKey) {
-        /** A message without a deduplication key. */
+            String deduplicationKey,
+            String orderKey) {
+        /** A message without a deduplication key and without an ordering key. */
         public Message(
                 String id,
                 byte frontend,
@@ -65,9 +68,36 @@
                     retriesWithinKeyWindow,
                     idempotencyKey,
                     body,
+                    "",
                     "");
         }
 
+        /** The same message with that ordering key; an empty one is none. */
+        public Message withOrderKey(String newOrderKey) {
+            if (newOrderKey.equals(orderKey)) {
+                return this;
+            }
+            return new Message(
+                    id,
+                    frontend,
+                    classIndex,
+                    tenantIndex,
+                    destination,
+                    deadline,
+                    rememberUntil,
+                    resubmitted,
+                    retriesWithinKeyWindow,
+                    idempotencyKey,
+                    body,
+                    deduplicationKey,
+                    newOrderKey);
+        }
+
+        /** Whether it has to keep its place among the messages of an ordering key. */
+        boolean isOrdered() {
+            return !orderKey.isEmpty();
+        }
+
         /** Whether an operator's rule gave it a deduplication key. */
         boolean hasDeduplicationKey() {
             return !deduplicationKey.isEmpty();
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -18,6 +18,7 @@
     private final Clock clock;
     private final EventLoop loop;
     private final Metrics metrics;
+    private final RequestLog log;
     private final Map<Byte, AttemptSender> senders = new HashMap<>();
     private final AttemptCounter inFlight = new AttemptCounter();
 
@@ -28,7 +29,8 @@
             Journal journal,
             Clock clock,
             EventLoop loop,
-            Metrics metrics) {
+            Metrics metrics,
+            RequestLog log) {
         this.dispatcher = dispatcher;
         this.settings = settings;
         this.policy = policy;
@@ -36,6 +38,7 @@
         this.clock = clock;
         this.loop = loop;
         this.metrics = metrics;
+        this.log = log;
     }
 
     /** Registers the sender of what that frontend submits. */
@@ -69,6 +72,7 @@
         int number = request.attempts;
         request.attempts++;
         ActiveAttempt attempt = track(request, number, endpoint, start);
+        log.attemptBegan(request, number, endpoint);
         if (!journal.attemptBegins(request.id())) {
             // unrecorded, it must not be sent; held back here, it tells the policy nothing of the endpoint
             loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED)));
@@ -129,15 +133,24 @@
             if (dispatcher.handover().forward(request, this, false, outcome)) {
                 return;
             }
+            log.attemptEnded(request, number, endpoint, outcome);
             journal.attemptEnded(request.id(), outcome.mayHaveRun());
             request.mayHaveRun |= outcome.mayHaveRun();
             policy.attemptEnded(clock.now(), request.id(), number, endpoint, start, outcome);
             if (outcome.completesRequest()) {
-                dispatcher.complete(request, finalOutcome(outcome));
+                complete(outcome);
             }
             dispatcher.attemptEnded();
         }
 
+        private void complete(AttemptOutcome outcome) {
+            boolean withdrawn = outcome.status() == Status.WITHDRAWN;
+            dispatcher.complete(
+                    request,
+                    withdrawn ? FinalOutcome.WITHDRAWN : FinalOutcome.DELIVERED,
+                    withdrawn ? OutcomeReason.WITHDRAWN : OutcomeReason.DELIVERED);
+        }
+
         /** A delivery does not count a second time where the request is in flight again, or has its outcome. */
         @Override
         public void answeredLate(AttemptOutcome outcome) {
@@ -148,13 +161,9 @@
             boolean waits = request.inFlightCall == null && dispatcher.request(request.id()) == request;
             if (outcome.completesRequest() && waits) {
                 policy.withdraw(clock.now(), request.id());
-                dispatcher.complete(request, finalOutcome(outcome));
+                complete(outcome);
             }
             dispatcher.attemptEnded();
         }
-
-        private static FinalOutcome finalOutcome(AttemptOutcome outcome) {
-            return outcome.status() == Status.WITHDRAWN ? FinalOutcome.WITHDRAWN : FinalOutcome.DELIVERED;
-        }
     }
 }
--- a/src/main/java/elderseam/core/DecisionExecutor.java
+++ b/src/main/java/elderseam/core/DecisionExecutor.java
@@ -38,7 +38,7 @@
         } else if (decision instanceof PolicyDecision.Complete complete) {
             ActiveRequest request = dispatcher.request(complete.requestId());
             if (request != null) {
-                dispatcher.complete(request, complete.outcome());
+                dispatcher.complete(request, complete.outcome(), complete.reason());
             }
         } else if (decision instanceof PolicyDecision.CloseIdleConnections close) {
             attempts.closeIdle(close.endpoint());
--- a/src/main/java/elderseam/core/DuplicateRequests.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -16,14 +16,22 @@
     private final EventLoop loop;
     private final Map<Byte, Frontend> frontends;
     private final Metrics metrics;
+    private final RequestLog log;
     private final DuplicateIndex index = new DuplicateIndex();
 
-    DuplicateRequests(Journal journal, Clock clock, EventLoop loop, Map<Byte, Frontend> frontends, Metrics metrics) {
+    DuplicateRequests(
+            Journal journal,
+            Clock clock,
+            EventLoop loop,
+            Map<Byte, Frontend> frontends,
+            Metrics metrics,
+            RequestLog log) {
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
         this.frontends = frontends;
         this.metrics = metrics;
+        this.log = log;
     }
 
     /** The request is the first in flight with its key. */
@@ -79,7 +87,8 @@
                 message.retriesWithinKeyWindow(),
                 "",
                 NO_BODY,
-                deduplicationKey);
+                deduplicationKey,
+                message.orderKey());
     }
 
     private void await(ActiveRequest.Message duplicate, ActiveRequest first) {
@@ -89,7 +98,7 @@
 
     private void expire(ActiveRequest.Message duplicate) {
         index.expire(duplicate, RequestDispatcher.CAPACITY_RETRY_AFTER_NS).ifPresent(outcome -> {
-            complete(duplicate, outcome);
+            complete(duplicate, outcome, OutcomeReason.DUPLICATE_OUT_OF_TIME);
             frontends.get(duplicate.frontend()).flushNotifications();
         });
     }
@@ -106,18 +115,19 @@
                 await(duplicate, first.get());
             } else {
                 FinalOutcome rejected = FinalOutcome.rejected(RequestDispatcher.CAPACITY_RETRY_AFTER_NS);
-                complete(duplicate, journal.outcomeOfKey(key).orElse(rejected));
+                complete(duplicate, journal.outcomeOfKey(key).orElse(rejected), OutcomeReason.DUPLICATE);
             }
         }
     }
 
     /** The request's outcome is that of all its duplicates. */
     void complete(ActiveRequest first, FinalOutcome outcome) {
-        index.complete(first).forEach(duplicate -> complete(duplicate, outcome));
+        index.complete(first).forEach(duplicate -> complete(duplicate, outcome, OutcomeReason.DUPLICATE));
     }
 
-    private void complete(ActiveRequest.Message duplicate, FinalOutcome outcome) {
-        metrics.requestCompleted(duplicate.classIndex(), outcome);
+    private void complete(ActiveRequest.Message duplicate, FinalOutcome outcome, OutcomeReason reason) {
+        metrics.requestCompleted(duplicate.classIndex(), outcome, reason);
+        log.completed(duplicate, outcome, reason);
         journal.completed(duplicate, outcome, true);
         frontends.get(duplicate.frontend()).completed(duplicate, outcome);
     }
--- a/src/main/java/elderseam/core/JournalRecordDecoder.java
+++ b/src/main/java/elderseam/core/JournalRecordDecoder.java
@@ -69,7 +69,8 @@
                 retriesWithinKeyWindow,
                 idempotencyKey,
                 body,
-                deduplicationKey);
+                deduplicationKey,
+                "");
     }
 
     private static JournalEntry readCompleted(DataInputStream in) throws IOException {
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -1,6 +1,8 @@
 package elderseam.core;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 
 /** The counters that operators read; they begin at 0 with the process. Confined to the event-loop thread. */
 final class Metrics {
@@ -15,6 +17,7 @@
     }
 
     private final ClassCounters[] byClass;
+    private final Map<OutcomeReason, Long> undelivered = new EnumMap<>(OutcomeReason.class);
     private long attempts;
 
     /** {@code classes}: how many message classes there are. */
@@ -26,7 +29,10 @@
     }
 
     /** Counts a final outcome. A withdrawn request is counted where it ended. */
-    void requestCompleted(int classIndex, FinalOutcome outcome) {
+    void requestCompleted(int classIndex, FinalOutcome outcome, OutcomeReason reason) {
+        if (outcome.kind() == FinalOutcome.Kind.REJECTED || outcome.kind() == FinalOutcome.Kind.FAILED) {
+            undelivered.merge(reason, 1L, Long::sum);
+        }
         ClassCounters counters = byClass[classIndex];
         switch (outcome.kind()) {
             case DELIVERED -> counters.delivered++;
@@ -42,7 +48,10 @@
         attempts++;
     }
 
-    /** Appends a line for each counter; {@code classNames} in the order of the settings. */
+    /**
+     * Appends a line for each counter; {@code classNames} in the order of the settings. A reason has a line once a
+     * request was rejected or failed for it.
+     */
     void appendLines(List<String> classNames, List<String> lines) {
         for (int i = 0; i < byClass.length; i++) {
             ClassCounters counters = byClass[i];
@@ -53,5 +62,6 @@
             lines.add(prefix + "backend_calls=" + counters.attempts);
         }
         lines.add(PREFIX + "backend_calls=" + attempts);
+        undelivered.forEach((reason, count) -> lines.add(PREFIX + "undelivered." + reason.label() + "=" + count));
     }
 }
--- a/src/main/java/elderseam/core/PolicyDecision.java
+++ b/src/main/java/elderseam/core/PolicyDecision.java
@@ -9,7 +9,7 @@
     record CancelAttempt(String requestId, int attempt) implements PolicyDecision {}
 
     /** Complete a request. */
-    record Complete(String requestId, FinalOutcome outcome) implements PolicyDecision {}
+    record Complete(String requestId, FinalOutcome outcome, OutcomeReason reason) implements PolicyDecision {}
 
     /** Close the idle connections to an endpoint. */
     record CloseIdleConnections(String endpoint) implements PolicyDecision {}
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -37,6 +37,7 @@
     private final DuplicateRequests duplicates;
     private final OperatorDrains drains;
     private final Metrics metrics;
+    private final RequestLog log;
     private final AttemptTracker attempts;
     private final Handover handover;
     private final PolicySnapshots snapshots;
@@ -66,9 +67,10 @@
         this.loop = loop;
         this.drains = new OperatorDrains(journal.drainedEndpoints());
         this.metrics = new Metrics(settings.classes().size());
-        this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics);
+        this.log = new RequestLog(clock);
+        this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics, log);
         this.policy = new PolicyFacade(settings, seed, breakers);
-        this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics);
+        this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics, log);
         this.handover = new Handover(this, attempts, policy, journal, clock, loop);
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
         this.executor = new DecisionExecutor(this, attempts);
@@ -151,6 +153,7 @@
                     settings.classes().get(message.classIndex()).keyWindowNs();
         }
         request.acknowledged = true;
+        log.restored(request);
         requests.put(request.id(), request);
         if (message.hasDeduplicationKey()) {
             duplicates.lead(request);
@@ -193,7 +196,7 @@
      */
     public Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
         if (handover.isTransferred()) { // too late to be part of the handover; nothing was accepted
-            return Optional.of(FinalOutcome.rejected(CAPACITY_RETRY_AFTER_NS));
+            return Optional.of(reject(message, OutcomeReason.HANDED_OVER));
         }
         Optional<FinalOutcome> known = journal.outcome(message.id());
         if (known.isPresent() || isInFlight(message.id())) {
@@ -206,20 +209,37 @@
             }
             Optional<ActiveRequest> first = duplicates.first(message.deduplicationKey(), alternateKeys);
             if (first.isPresent()) {
-                boolean joined = hasCapacity() && duplicates.join(message, first.get());
-                return joined ? Optional.empty() : Optional.of(reject(message));
+                return submitDuplicate(message, first.get());
             }
         }
-        if (!policy.serves(clock.now(), message.destination()) || !hasCapacity() || !journal.accepted(message)) {
-            return Optional.of(reject(message));
+        if (!policy.serves(clock.now(), message.destination())) {
+            return Optional.of(reject(message, OutcomeReason.NO_ENDPOINT));
+        }
+        if (!hasCapacity()) {
+            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
+        }
+        if (!journal.accepted(message)) {
+            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
         }
         return Optional.ofNullable(accept(message));
     }
 
+    private Optional<FinalOutcome> submitDuplicate(ActiveRequest.Message message, ActiveRequest first) {
+        if (!hasCapacity()) {
+            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
+        }
+        if (!duplicates.join(message, first)) {
+            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
+        }
+        log.accepted(message);
+        return Optional.empty();
+    }
+
     /** Holds an accepted message; its outcome where the policy decides it at once, or null. */
     private FinalOutcome accept(ActiveRequest.Message message) {
         ActiveRequest request = new ActiveRequest(message);
         requests.put(request.id(), request);
+        log.accepted(message);
         if (message.hasDeduplicationKey()) {
             duplicates.lead(request);
         }
@@ -229,10 +249,11 @@
         return request.outcome;
     }
 
-    private FinalOutcome reject(ActiveRequest.Message message) {
+    private FinalOutcome reject(ActiveRequest.Message message, OutcomeReason reason) {
         FinalOutcome outcome = FinalOutcome.rejected(CAPACITY_RETRY_AFTER_NS);
         if (message.destination() != NO_DESTINATION) { // such a message is the program's own, at its start
-            metrics.requestCompleted(message.classIndex(), outcome);
+            metrics.requestCompleted(message.classIndex(), outcome, reason);
+            log.completed(message, outcome, reason);
         }
         return outcome;
     }
@@ -278,6 +299,7 @@
 
     /** The client of that message has been notified of its outcome. */
     public void markNotified(String id) {
+        log.notified(id);
         journal.notified(id);
     }
 
@@ -371,7 +393,7 @@
     }
 
     /** Completes a request, unless it has been completed before. */
-    void complete(ActiveRequest request, FinalOutcome decided) {
+    void complete(ActiveRequest request, FinalOutcome decided, OutcomeReason reason) {
         if (request.outcome != null) {
             return;
         }
@@ -381,7 +403,8 @@
         boolean unsafeToRetry = decided.isRejection() && request.mayHaveRun && message.hasDeduplicationKey();
         FinalOutcome outcome = unsafeToRetry ? FinalOutcome.FAILED : decided;
         request.outcome = outcome;
-        metrics.requestCompleted(message.classIndex(), outcome);
+        metrics.requestCompleted(message.classIndex(), outcome, reason);
+        log.completed(message, outcome, reason);
         requests.remove(request.id());
         journal.completed(message, outcome, request.acknowledged);
         if (request.acknowledged) {
--- a/src/main/java/elderseam/core/SettingsMap.java
+++ b/src/main/java/elderseam/core/SettingsMap.java
@@ -19,6 +19,8 @@
  */
 public record SettingsMap(Map<String, String> values) {
     private static final String UNSET = "-";
+    private static final String CLASSES = "services";
+    private static final String ORDERED = "fifoByKey";
 
     /**
      * The policy's settings.
@@ -57,12 +59,12 @@
 
     private List<RequestClass> messageClasses() {
         List<RequestClass> classes = new ArrayList<>();
-        for (int i = 0; i < count("services"); i++) {
-            String prefix = "services." + i + ".";
+        for (int i = 0; i < count(CLASSES); i++) {
+            String prefix = CLASSES + "." + i + ".";
             classes.add(new RequestClass(
                     effect(prefix + "effect"),
                     !getText(prefix + "keyScope", "all").equals("all"),
-                    getBoolean(prefix + "fifoByKey"),
+                    getBoolean(prefix + ORDERED),
                     getLong(prefix + "targetNs", 0),
                     getLong(prefix + "giveUpNs", 0),
                     getDouble(prefix + "points", 1),
@@ -72,6 +74,15 @@
         return classes;
     }
 
+    /** Whether each message class keeps the order of its keys, by index. */
+    public List<Boolean> orderedClasses() {
+        List<Boolean> ordered = new ArrayList<>();
+        for (int i = 0; i < count(CLASSES); i++) {
+            ordered.add(getBoolean(CLASSES + "." + i + "." + ORDERED));
+        }
+        return ordered;
+    }
+
     private Idempotency effect(String path) {
         return switch (getText(path, "")) {
             case "repeatable" -> Idempotency.SAFE;
--- a/src/main/java/elderseam/frontend/cloudevents/EventMessageMapper.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventMessageMapper.java
@@ -35,6 +35,11 @@
 
     private static final int ID_HASH_BYTES = 16;
 
+    /** The CloudEvents extension for the ordering key (partitioning extension). */
+    private static final String ORDER_KEY_EXTENSION = "partitionkey";
+
+    private static final int MAX_ORDER_KEY_CHARS = 256;
+
     private final Clock clock;
     private final List<String> classes;
     private final List<String> tenants;
@@ -63,6 +68,7 @@
         }
         long destination = destination(event, ruled);
         long deadline = deadline(event, classIndex);
+        String orderKey = orderKey(event, classIndex);
         byte[] body = EventCodec.encode(event);
         if (body.length > MAX_EVENT_BYTES) {
             throw new InvalidEventException(413, TOO_LARGE);
@@ -79,7 +85,9 @@
                 false,
                 false,
                 messageId,
-                body);
+                body,
+                "",
+                orderKey);
     }
 
     private static long destination(CloudEvent event, boolean ruled) throws InvalidEventException {
@@ -93,6 +101,18 @@
         return Long.parseLong(destination);
     }
 
+    /** The ordering key; empty for none, and in classes that don't keep their order. */
+    private String orderKey(CloudEvent event, int classIndex) throws InvalidEventException {
+        if (classIndex == NONE || !settings.classes().get(classIndex).ordered()) {
+            return "";
+        }
+        String orderKey = extension(event, ORDER_KEY_EXTENSION);
+        if (orderKey.length() > MAX_ORDER_KEY_CHARS) {
+            throw InvalidEventException.malformed("partitionkey has more than " + MAX_ORDER_KEY_CHARS + " characters");
+        }
+        return orderKey;
+    }
+
     /** The deadline of the event's class, or the event's own if that is earlier. */
     private long deadline(CloudEvent event, int classIndex) throws InvalidEventException {
         long deadlineNs = classIndex == NONE
--- a/src/main/java/elderseam/frontend/platform/PlatformRequestDecoder.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformRequestDecoder.java
@@ -22,14 +22,23 @@
     private static final long NS_PER_MICROSECOND = 1_000;
     private static final int MAX_IDEMPOTENCY_KEY_CHARS = 256;
 
+    /** The query parameter that holds the ordering key, in classes that keep their order. */
+    private static final String ORDER_KEY_PARAMETER = "thread";
+
+    private static final int MAX_ORDER_KEY_CHARS = 256;
+
     private final Clock clock;
     private final List<String> classes;
     private final List<String> tenants;
 
+    /** Whether each class keeps the order of its keys. */
+    private final List<Boolean> ordered;
+
     PlatformRequestDecoder(Clock clock, SettingsMap settings) {
         this.clock = clock;
         this.classes = settings.names("services");
         this.tenants = settings.names("orgs");
+        this.ordered = settings.orderedClasses();
     }
 
     /**
@@ -52,6 +61,7 @@
         if (idempotencyKey.length() > MAX_IDEMPOTENCY_KEY_CHARS) {
             throw new InvalidRequestException(400, "bad Idempotency-Key");
         }
+        String orderKey = orderKey(request, classIndex);
         long deadline = clock.now() + remainingNs;
         return new ActiveRequest.Message(
                 id,
@@ -64,7 +74,9 @@
                 !request.header("X-Resent").isEmpty(),
                 true,
                 idempotencyKey,
-                request.body());
+                request.body(),
+                "",
+                orderKey);
     }
 
     private int classIndex(HttpServer.Request request) throws InvalidRequestException {
@@ -83,6 +95,18 @@
         return classIndex;
     }
 
+    /** The ordering key; empty for none, and in classes that don't keep their order. */
+    private String orderKey(HttpServer.Request request, int classIndex) throws InvalidRequestException {
+        if (!ordered.get(classIndex)) {
+            return "";
+        }
+        String orderKey = QueryParameters.value(request.query(), ORDER_KEY_PARAMETER);
+        if (orderKey.length() > MAX_ORDER_KEY_CHARS) {
+            throw new InvalidRequestException(400, "bad " + ORDER_KEY_PARAMETER);
+        }
+        return orderKey;
+    }
+
     private static long destination(String addressing) throws InvalidRequestException {
         if (!DESTINATION.matcher(addressing).matches()) {
             throw new InvalidRequestException(400, "bad X-Addressing");
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -28,12 +28,19 @@
      * A complete request.
      *
      * @param path the path without the query
+     * @param query what follows the path's question mark, as it was sent; empty if there is none
      * @param source the client's address; null if it is not known
      */
-    public record Request(String method, String path, HeaderMap headers, byte[] body, InetSocketAddress source) {
-        /** A request whose client is not known. */
+    public record Request(
+            String method, String path, String query, HeaderMap headers, byte[] body, InetSocketAddress source) {
+        /** A request without a query, whose client is not known. */
         public Request(String method, String path, HeaderMap headers, byte[] body) {
-            this(method, path, headers, body, null);
+            this(method, path, "", headers, body, null);
+        }
+
+        /** The request target in origin form: the path, with the query where there is one. */
+        public String target() {
+            return query.isEmpty() ? path : path + "?" + query;
         }
 
         /** The first value of a header without the white space around it; empty if there is none. */
--- a/src/main/java/elderseam/http/RequestReceiver.java
+++ b/src/main/java/elderseam/http/RequestReceiver.java
@@ -150,6 +150,7 @@
         Request request = new Request(
                 exchange.getRequestMethod().toString(),
                 exchange.getRequestPath(),
+                exchange.getQueryString(),
                 exchange.getRequestHeaders(),
                 body,
                 exchange.getSourceAddress());
--- a/src/main/java/elderseam/logging/EventLogger.java
+++ b/src/main/java/elderseam/logging/EventLogger.java
@@ -5,7 +5,8 @@
 
 /**
  * Writes log events: one line {@code LEVEL event.name key=value ...} on standard error, written before the call
- * returns. Thread-safe. For what happens seldom, not for each request.
+ * returns. Thread-safe. All but {@link #debug} are for what happens seldom,
+ * not for each request.
  */
 public final class EventLogger {
     private final Logger logger;
@@ -19,6 +20,18 @@
         return new EventLogger(LoggerFactory.getLogger(source));
     }
 
+    /** Whether {@link #debug} writes anything: a caller on a hot path asks before it builds the fields. */
+    public boolean isDebugEnabled() {
+        return logger.isDebugEnabled();
+    }
+
+    /** Logs what happens to a single request. Off unless the level of the class is set to debug. */
+    public void debug(String event, LogField... fields) {
+        if (logger.isDebugEnabled()) {
+            logger.debug(line(event, fields));
+        }
+    }
+
     /** Logs what belongs to ordinary operation. */
     public void info(String event, LogField... fields) {
         if (logger.isInfoEnabled()) {
--- a/src/main/java/elderseam/rules/RuleEngine.java
+++ b/src/main/java/elderseam/rules/RuleEngine.java
@@ -176,7 +176,8 @@
                 message.retriesWithinKeyWindow() && !hasKey,
                 message.idempotencyKey(),
                 message.body(),
-                deduplicationKey);
+                deduplicationKey,
+                message.orderKey());
     }
 
     /** The message's deadline, which another class or a rule can only shorten. */
