--- /dev/null
+++ b/src/main/java/elderseam/core/RequestAdmission.java
@@ -0,0 +1,110 @@
+package elderseam.core;
+
+import elderseam.policy.PolicySettings;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides whether a message is accepted, and tells the outcome of one that was accepted before. Confined to the
+ * event-loop thread.
+ */
+final class RequestAdmission {
+    private final RequestDispatcher dispatcher;
+    private final PolicySettings settings;
+    private final PolicyFacade policy;
+    private final Journal journal;
+    private final DuplicateRequests duplicates;
+    private final Metrics metrics;
+    private final RequestLog log;
+    private final Clock clock;
+
+    RequestAdmission(
+            RequestDispatcher dispatcher,
+            PolicySettings settings,
+            PolicyFacade policy,
+            Journal journal,
+            DuplicateRequests duplicates,
+            Metrics metrics,
+            RequestLog log,
+            Clock clock) {
+        this.dispatcher = dispatcher;
+        this.settings = settings;
+        this.policy = policy;
+        this.journal = journal;
+        this.duplicates = duplicates;
+        this.metrics = metrics;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /** As {@link RequestDispatcher#submit(ActiveRequest.Message, List)}. */
+    Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
+        if (dispatcher.handover().isTransferred()) { // too late to be part of the handover; nothing was accepted
+            return Optional.of(reject(message, OutcomeReason.HANDED_OVER));
+        }
+        Optional<FinalOutcome> known = journal.outcome(message.id());
+        if (known.isPresent() || isInFlight(message.id())) {
+            return known;
+        }
+        if (message.hasDeduplicationKey() || !alternateKeys.isEmpty()) {
+            Optional<FinalOutcome> shared = duplicates.outcome(message.deduplicationKey(), alternateKeys);
+            if (shared.isPresent()) {
+                return shared;
+            }
+            Optional<ActiveRequest> first = duplicates.first(message.deduplicationKey(), alternateKeys);
+            if (first.isPresent()) {
+                return submitDuplicate(message, first.get());
+            }
+        }
+        if (!policy.serves(clock.now(), message.destination())) {
+            return Optional.of(reject(message, OutcomeReason.NO_ENDPOINT));
+        }
+        if (!hasCapacity()) {
+            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
+        }
+        if (!journal.accepted(message)) {
+            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
+        }
+        return Optional.ofNullable(dispatcher.accept(message));
+    }
+
+    private Optional<FinalOutcome> submitDuplicate(ActiveRequest.Message message, ActiveRequest first) {
+        if (!hasCapacity()) {
+            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
+        }
+        if (!duplicates.join(message, first)) {
+            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
+        }
+        log.accepted(message);
+        return Optional.empty();
+    }
+
+    private FinalOutcome reject(ActiveRequest.Message message, OutcomeReason reason) {
+        FinalOutcome outcome = FinalOutcome.rejected(RequestDispatcher.CAPACITY_RETRY_AFTER_NS);
+        if (message.destination()
+                != RequestDispatcher.NO_DESTINATION) { // such a message is the program's own, at its start
+            metrics.requestCompleted(message.classIndex(), outcome, reason);
+            log.completed(message, outcome, reason);
+        }
+        return outcome;
+    }
+
+    private boolean hasCapacity() {
+        return dispatcher.requestsInFlight() < settings.maxHeld();
+    }
+
+    /** Whether that message is in flight, or its outcome is remembered. */
+    boolean isKnown(String id) {
+        return isInFlight(id) || journal.outcome(id).isPresent();
+    }
+
+    /** Whether a message with one of these deduplication keys is in flight, or its outcome is remembered. */
+    boolean isKnown(String deduplicationKey, List<String> alternateKeys) {
+        return duplicates.first(deduplicationKey, alternateKeys).isPresent()
+                || duplicates.outcome(deduplicationKey, alternateKeys).isPresent();
+    }
+
+    private boolean isInFlight(String id) {
+        return dispatcher.request(id) != null || duplicates.isWaiting(id);
+    }
+}
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -43,6 +43,7 @@
     private final PolicySnapshots snapshots;
     private final DecisionExecutor executor;
     private final DecisionLoop decisions;
+    private final RequestAdmission admission;
     private boolean recovering;
 
     /** A dispatcher that logs the changes of its policy's circuit breakers. */
@@ -75,6 +76,7 @@
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
         this.executor = new DecisionExecutor(this, attempts);
         this.decisions = new DecisionLoop(executor, policy, clock, loop);
+        this.admission = new RequestAdmission(this, settings, policy, journal, duplicates, metrics, log, clock);
     }
 
     /** Registers a frontend under its number, and the sender of the attempts of what it submits. */
@@ -195,48 +197,11 @@
      *     the final outcome, which does not go to the frontend again.
      */
     public Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
-        if (handover.isTransferred()) { // too late to be part of the handover; nothing was accepted
-            return Optional.of(reject(message, OutcomeReason.HANDED_OVER));
-        }
-        Optional<FinalOutcome> known = journal.outcome(message.id());
-        if (known.isPresent() || isInFlight(message.id())) {
-            return known;
-        }
-        if (message.hasDeduplicationKey() || !alternateKeys.isEmpty()) {
-            Optional<FinalOutcome> shared = duplicates.outcome(message.deduplicationKey(), alternateKeys);
-            if (shared.isPresent()) {
-                return shared;
-            }
-            Optional<ActiveRequest> first = duplicates.first(message.deduplicationKey(), alternateKeys);
-            if (first.isPresent()) {
-                return submitDuplicate(message, first.get());
-            }
-        }
-        if (!policy.serves(clock.now(), message.destination())) {
-            return Optional.of(reject(message, OutcomeReason.NO_ENDPOINT));
-        }
-        if (!hasCapacity()) {
-            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
-        }
-        if (!journal.accepted(message)) {
-            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
-        }
-        return Optional.ofNullable(accept(message));
-    }
-
-    private Optional<FinalOutcome> submitDuplicate(ActiveRequest.Message message, ActiveRequest first) {
-        if (!hasCapacity()) {
-            return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
-        }
-        if (!duplicates.join(message, first)) {
-            return Optional.of(reject(message, OutcomeReason.JOURNAL_UNAVAILABLE));
-        }
-        log.accepted(message);
-        return Optional.empty();
+        return admission.submit(message, alternateKeys);
     }
 
     /** Holds an accepted message; its outcome where the policy decides it at once, or null. */
-    private FinalOutcome accept(ActiveRequest.Message message) {
+    FinalOutcome accept(ActiveRequest.Message message) {
         ActiveRequest request = new ActiveRequest(message);
         requests.put(request.id(), request);
         log.accepted(message);
@@ -249,32 +214,14 @@
         return request.outcome;
     }
 
-    private FinalOutcome reject(ActiveRequest.Message message, OutcomeReason reason) {
-        FinalOutcome outcome = FinalOutcome.rejected(CAPACITY_RETRY_AFTER_NS);
-        if (message.destination() != NO_DESTINATION) { // such a message is the program's own, at its start
-            metrics.requestCompleted(message.classIndex(), outcome, reason);
-            log.completed(message, outcome, reason);
-        }
-        return outcome;
-    }
-
-    private boolean hasCapacity() {
-        return requestsInFlight() < settings.maxHeld();
-    }
-
     /** Whether that message is in flight, or its outcome is remembered. */
     public boolean isKnown(String id) {
-        return isInFlight(id) || journal.outcome(id).isPresent();
+        return admission.isKnown(id);
     }
 
     /** Whether a message with one of these deduplication keys is in flight, or its outcome is remembered. */
     public boolean isKnown(String deduplicationKey, List<String> alternateKeys) {
-        return duplicates.first(deduplicationKey, alternateKeys).isPresent()
-                || duplicates.outcome(deduplicationKey, alternateKeys).isPresent();
-    }
-
-    private boolean isInFlight(String id) {
-        return requests.containsKey(id) || duplicates.isWaiting(id);
+        return admission.isKnown(deduplicationKey, alternateKeys);
     }
 
     /** Begins to count the attempts in flight by destination too. */
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/OrderChecker.java
@@ -0,0 +1,108 @@
+package elderseam.testkit.ordering;
+
+import elderseam.testkit.ordering.OrderHistory.Call;
+import elderseam.testkit.ordering.OrderHistory.CallEnd;
+import elderseam.testkit.ordering.OrderHistory.Message;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Checks a finished history: the messages of a key are called one at a time in the order in which they were handed in, a
+ * message that ended by a notification is over once that is answered, a key rests after a call of unknown end, no accepted
+ * message is lost, and none that may have run is sent again. A message whose client was not told that it is accepted counts
+ * for nothing.
+ */
+final class OrderChecker {
+    private static final long MILLISECOND_NS = 1_000_000;
+    /** How late after its deadline a message may be over; restarts add the second and a half after readiness. */
+    private static final long LATENESS_NS = 300 * MILLISECOND_NS;
+
+    private final long keyRestNs;
+    private final long restartGraceNs;
+    private final long origin;
+    private final List<String> violations = new ArrayList<>();
+
+    /**
+     * @param keyRestNs how long a key rests after a call of unknown end
+     * @param restartGraceNs how much later a message may be over where processes were restarted
+     * @param origin the time that reports count from
+     */
+    OrderChecker(long keyRestNs, long restartGraceNs, long origin) {
+        this.keyRestNs = keyRestNs;
+        this.restartGraceNs = restartGraceNs;
+        this.origin = origin;
+    }
+
+    /** All violations of a history, the first of each key first. */
+    List<String> check(OrderHistory history) {
+        violations.addAll(history.anomalies());
+        history.messagesByKey().values().forEach(this::checkKey);
+        return violations;
+    }
+
+    private void checkKey(List<Message> handedIn) {
+        List<Message> accepted =
+                handedIn.stream().filter(message -> message.accepted).toList();
+        for (int i = 0; i < accepted.size(); i++) {
+            Message message = accepted.get(i);
+            checkEnd(message);
+            for (Call call : message.calls) {
+                accepted.subList(0, i).forEach(earlier -> checkBefore(earlier, message, call));
+                accepted.forEach(other -> checkAlone(other, message, call));
+            }
+        }
+    }
+
+    private void checkBefore(Message earlier, Message message, Call call) {
+        if (earlier.overAt() > call.start) {
+            report("out of turn", message, call.start, earlier.id + " of " + state(earlier) + " was not over");
+        }
+    }
+
+    private void checkAlone(Message other, Message message, Call call) {
+        for (Call before : other.calls) {
+            if (before == call || before.start > call.start) {
+                continue;
+            }
+            if (before.end > call.start) {
+                report("overlap", message, call.start, other.id + " was still called");
+            } else if (before.how == CallEnd.BROKEN && call.start - before.end < keyRestNs) {
+                long restedMs = (call.start - before.end) / MILLISECOND_NS;
+                report("not rested", message, call.start, restedMs + " ms after " + other.id + " broke off");
+            }
+        }
+    }
+
+    private void checkEnd(Message message) {
+        if (message.overAt() > message.deadline + LATENESS_NS + restartGraceNs) {
+            report("lost", message, message.deadline, "not over in time: " + state(message));
+        }
+        long mayHaveRun = message.calls.stream()
+                .filter(call -> call.how == null || call.how.mayHaveRun)
+                .count();
+        if (message.once && mayHaveRun > 1) {
+            report("duplicate", message, message.calls.get(1).start, "sent again after it may have run");
+        }
+    }
+
+    private String state(Message message) {
+        StringBuilder text = new StringBuilder();
+        message.calls.forEach(call -> text.append(seconds(call.start))
+                .append(' ')
+                .append(call.how)
+                .append(' ')
+                .append(seconds(call.end))
+                .append("; "));
+        return text.append("over ").append(seconds(message.overAt())).toString();
+    }
+
+    private String seconds(long time) {
+        return time == OrderHistory.NEVER ? "never" : String.format(Locale.ROOT, "%.3f", (time - origin) / 1e9);
+    }
+
+    private void report(String rule, Message message, long time, String detail) {
+        violations.add(
+                rule + " at " + seconds(time) + " s: key " + message.key + ", message " + message.id + ": " + detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/OrderHistory.java
@@ -0,0 +1,137 @@
+package elderseam.testkit.ordering;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All that clients, endpoints and the platform saw of the messages of one run. Times are nanoseconds of
+ * {@link System#nanoTime}. Thread-safe.
+ */
+final class OrderHistory {
+    /** A time that has not come. */
+    static final long NEVER = Long.MAX_VALUE;
+
+    /** One call of a message at an endpoint. */
+    static final class Call {
+        final String messageId;
+        final long start;
+        long end = NEVER;
+        /** What ended it; null while it is open. */
+        CallEnd how;
+
+        Call(String messageId, long start) {
+            this.messageId = messageId;
+            this.start = start;
+        }
+    }
+
+    /** How a call ended. */
+    enum CallEnd {
+        /** The endpoint answered 200. */
+        DELIVERED(true),
+        /** The endpoint answered that it did nothing. */
+        REFUSED(false),
+        /** The endpoint answered that it failed. */
+        FAILED(true),
+        /** The connection ended, from either side, before an answer. */
+        BROKEN(true);
+
+        /** Whether the message may have run. */
+        final boolean mayHaveRun;
+
+        CallEnd(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+        }
+    }
+
+    /** One message of a key, as its client handed it in. */
+    static final class Message {
+        final String id;
+        final String key;
+        final long deadline;
+        /** Whether it must not run twice. */
+        final boolean once;
+        /** Whether its client heard that it is accepted. */
+        boolean accepted;
+
+        long notifiedAt = NEVER;
+        final List<Call> calls = new ArrayList<>();
+
+        Message(String id, String key, long deadline, boolean once) {
+            this.id = id;
+            this.key = key;
+            this.deadline = deadline;
+            this.once = once;
+        }
+
+        /** When it was over: delivered, or its notification answered. */
+        long overAt() {
+            long over = notifiedAt;
+            for (Call call : calls) {
+                if (call.how == CallEnd.DELIVERED) {
+                    over = Math.min(over, call.end);
+                }
+            }
+            return over;
+        }
+    }
+
+    private final Map<String, Message> byId = new HashMap<>();
+    private final Map<String, List<Message>> byKey = new HashMap<>();
+    private final List<String> anomalies = new ArrayList<>();
+
+    /** A client is about to hand in a message; those of one key come in their order. */
+    synchronized void handedIn(String id, String key, long deadline, boolean once) {
+        Message message = new Message(id, key, deadline, once);
+        byId.put(id, message);
+        byKey.computeIfAbsent(key, absent -> new ArrayList<>()).add(message);
+    }
+
+    /** The message's client was answered that it is accepted. */
+    synchronized void accepted(String id) {
+        byId.get(id).accepted = true;
+    }
+
+    /** The last byte of a call has come to an endpoint. */
+    synchronized Call callBegan(String id) {
+        Call call = new Call(id, System.nanoTime());
+        Message message = byId.get(id);
+        if (message == null) {
+            anomalies.add("a call with an id that no client used: " + id);
+        } else {
+            message.calls.add(call);
+        }
+        return call;
+    }
+
+    /** A call ended: its answer is about to be written, or its connection is gone. */
+    synchronized void callEnded(Call call, CallEnd how) {
+        call.end = System.nanoTime();
+        call.how = how;
+    }
+
+    /** A notification of the message is about to be answered. */
+    synchronized void notified(String id) {
+        Message message = byId.get(id);
+        if (message != null) {
+            message.notifiedAt = Math.min(message.notifiedAt, System.nanoTime());
+        }
+    }
+
+    /** Whether each accepted message is over. */
+    synchronized boolean isSettled() {
+        return byId.values().stream().allMatch(message -> !message.accepted || message.overAt() != NEVER);
+    }
+
+    /** What can't be: such as a call that no client asked for. */
+    synchronized List<String> anomalies() {
+        return List.copyOf(anomalies);
+    }
+
+    /** The messages of each key in the order in which they were handed in; read once nothing is added any more. */
+    synchronized Map<String, List<Message>> messagesByKey() {
+        return Map.copyOf(byKey);
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -0,0 +1,298 @@
+package elderseam.testkit.ordering;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Plays one run: starts everything, carries out the signals in their order, lets the rest end, and checks the history. */
+public final class OrderTrial implements AutoCloseable {
+    static final String ONCE_PATH = "/once";
+    private static final String REPEATABLE_PATH = "/again";
+    private static final int LISTEN_PORT = 8443;
+    /** SIGKILL comes so long after SIGTERM, where the process has not ended by itself. */
+    private static final long TERM_GRACE_MS = 3_700;
+
+    private static final long KEY_REST_MS = 100;
+    private static final long RESTART_GRACE_MS = 4_000;
+    private static final int HANDOVER_LIMIT_MS = 12_000;
+    private static final int MAX_DOWN_MS = 700;
+    private static final int MAX_PAUSE_MS = 600;
+    private static final int MAX_GAP_MS = 900;
+    private static final int CROWD_CONNECTIONS = 60;
+
+    /** What is done to the dispatcher. */
+    public enum Action {
+        /** SIGKILL, and a new process. */
+        KILL,
+        /** SIGTERM, SIGKILL after 3.7 s, and a new process. */
+        TERMINATE,
+        /** A second process takes over. */
+        HAND_OVER,
+        /** SIGHUP. */
+        HANG_UP,
+        /** SIGSTOP and SIGCONT. */
+        PAUSE,
+        /** Idle clients connect and stay. */
+        CROWD
+    }
+
+    /**
+     * What clients hand in.
+     *
+     * @param keys ordering keys, each with a client of its own; every second one in a class that must not run twice
+     * @param messagesPerKey at most, in the time that the actions take
+     * @param maxPauseMs between two messages of a key
+     * @param minRemainingMs the shortest time that a message has
+     */
+    public record Load(int keys, int messagesPerKey, int maxPauseMs, int minRemainingMs, int maxRemainingMs) {}
+
+    /**
+     * How the others behave.
+     *
+     * @param endpoints of the one destination
+     * @param minDelayMs of an endpoint's answer
+     * @param badAnswerRatio calls that hang, break or fail
+     * @param notificationDelayMs the longest time to the answer to a notification
+     * @param refusedNotificationRatio calls with notifications that get 503
+     */
+    public record Surroundings(
+            int endpoints,
+            int minDelayMs,
+            int maxDelayMs,
+            double badAnswerRatio,
+            int notificationDelayMs,
+            double refusedNotificationRatio) {}
+
+    /** What a run came to. */
+    public record Result(List<String> violations, int handedIn, int accepted, int delivered, int notified) {
+        @Override
+        public String toString() {
+            return "handed_in=" + handedIn + " accepted=" + accepted + " delivered=" + delivered + " notified="
+                    + notified + " violations=" + violations.size();
+        }
+    }
+
+    private final Path folder;
+    private final SplittableRandom random;
+    private final OrderHistory history = new OrderHistory();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final List<OrderedClient> clients = new ArrayList<>();
+    private final List<Thread> clientThreads = new ArrayList<>();
+    private final InetSocketAddress dispatcherAddress;
+    private final Map<String, String> variables;
+    private final Path settingsFile;
+    private final long start = System.nanoTime();
+    private ServedProcess process;
+
+    private OrderTrial(Path folder, long seed, Surroundings surroundings) throws IOException {
+        this.folder = folder;
+        this.random = new SplittableRandom(seed);
+        InetAddress own = InetAddress.getByAddress(new byte[] {
+            127, (byte) (100 + ProcessHandle.current().pid() % 100), (byte) random.nextInt(250), 1
+        });
+        dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
+        RecordingPlatform platform = new RecordingPlatform(
+                own,
+                history,
+                random.split(),
+                surroundings.notificationDelayMs(),
+                surroundings.refusedNotificationRatio());
+        open.add(platform);
+        String list = startEndpoints(own, surroundings);
+        platform.setList(list);
+        settingsFile = folder.resolve("elderseam.ini");
+        Files.writeString(settingsFile, "");
+        Path configuration = folder.resolve("config.json");
+        Files.writeString(configuration, configuration(platform.address(), list));
+        variables = Map.of(
+                "RELAY_NAME",
+                "n1",
+                "RELAY_LISTEN",
+                own.getHostAddress() + ":" + LISTEN_PORT,
+                "RELAY_DISCOVERY",
+                platform.address(),
+                "RELAY_STATE",
+                folder.resolve("state").toString(),
+                "RELAY_CONFIG",
+                configuration.toString(),
+                "RELAY_CONTROL",
+                own.getHostAddress() + ":0");
+    }
+
+    /** Starts the endpoints; the list that names them. */
+    private String startEndpoints(InetAddress address, Surroundings surroundings) throws IOException {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < surroundings.endpoints(); i++) {
+            RecordingEndpoint endpoint = new RecordingEndpoint(
+                    address,
+                    history,
+                    random.split(),
+                    surroundings.minDelayMs(),
+                    surroundings.maxDelayMs(),
+                    surroundings.badAnswerRatio());
+            open.add(endpoint);
+            entries.add(listEntry("s" + i, endpoint.address()));
+        }
+        return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+    }
+
+    private static String listEntry(String id, String address) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address
+                + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    private static String configuration(String platformAddress, String list) throws IOException {
+        String settings = new String(
+                OrderTrial.class.getResourceAsStream("settings.json").readAllBytes(), StandardCharsets.UTF_8);
+        return "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + platformAddress
+                + "\",\"limits\":{\"sockets\":256,\"memory_mb\":64,\"disk_mb\":3},\"known\":" + list + ",\"settings\":"
+                + settings + "}";
+    }
+
+    /**
+     * Plays a run.
+     *
+     * @param folder an empty one, for state and log
+     * @param actions carried out one after another while clients hand in messages
+     */
+    public static Result play(Path folder, long seed, Load load, Surroundings surroundings, List<Action> actions)
+            throws IOException, InterruptedException {
+        try (OrderTrial trial = new OrderTrial(folder, seed, surroundings)) {
+            trial.process = trial.startProcess();
+            ServedProcess.awaitReady(trial.dispatcherAddress);
+            trial.startClients(load);
+            for (Action action : actions) {
+                Thread.sleep(trial.random.nextInt(1, MAX_GAP_MS));
+                trial.carryOut(action);
+            }
+            if (!actions.isEmpty()) {
+                trial.clients.forEach(OrderedClient::stop);
+            }
+            trial.finish(load);
+            long graceMs = actions.isEmpty() ? 0 : RESTART_GRACE_MS;
+            return trial.result(graceMs);
+        }
+    }
+
+    private ServedProcess startProcess() throws IOException {
+        return ServedProcess.start(folder, settingsFile, variables);
+    }
+
+    private void startClients(Load load) {
+        for (int i = 0; i < load.keys(); i++) {
+            String path = i % 2 == 0 ? ONCE_PATH : REPEATABLE_PATH;
+            OrderedClient client = new OrderedClient("k" + i, path, dispatcherAddress, history, random.split(), load);
+            clients.add(client);
+            Thread thread = new Thread(client, "ordering-client");
+            thread.setDaemon(true);
+            clientThreads.add(thread);
+            thread.start();
+        }
+    }
+
+    private void carryOut(Action action) throws IOException, InterruptedException {
+        switch (action) {
+            case KILL -> process.kill();
+            case TERMINATE -> {
+                process.signal("TERM");
+                if (!process.endsWithin(TERM_GRACE_MS)) {
+                    process.kill();
+                }
+            }
+            case HAND_OVER -> handOver();
+            case HANG_UP -> process.signal("HUP");
+            case PAUSE -> {
+                process.signal("STOP");
+                Thread.sleep(random.nextInt(1, MAX_PAUSE_MS));
+                process.signal("CONT");
+            }
+            case CROWD -> crowd();
+        }
+        if (!process.isAlive()) {
+            Thread.sleep(random.nextInt(1, MAX_DOWN_MS));
+            process = startProcess();
+            ServedProcess.awaitReady(dispatcherAddress);
+        }
+    }
+
+    private void handOver() throws IOException, InterruptedException {
+        ServedProcess older = process;
+        process = startProcess();
+        if (!older.endsWithin(HANDOVER_LIMIT_MS)) {
+            older.kill();
+        }
+        ServedProcess.awaitReady(dispatcherAddress);
+    }
+
+    private void crowd() {
+        for (int i = 0; i < CROWD_CONNECTIONS; i++) {
+            try {
+                open.add(HttpConnection.connect(dispatcherAddress, 100));
+            } catch (IOException e) {
+                return; // refused: as many as may be
+            }
+        }
+    }
+
+    /** Waits until the clients are through, and until all that was accepted is over. */
+    private void finish(Load load) throws InterruptedException {
+        for (Thread thread : clientThreads) {
+            thread.join();
+        }
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(load.maxRemainingMs() + 2 * RESTART_GRACE_MS);
+        while (!history.isSettled() && System.nanoTime() < deadline) {
+            Thread.sleep(50);
+        }
+        Thread.sleep(300); // calls and notifications that should not come any more
+    }
+
+    private Result result(long graceMs) {
+        OrderChecker checker = new OrderChecker(
+                TimeUnit.MILLISECONDS.toNanos(KEY_REST_MS), TimeUnit.MILLISECONDS.toNanos(graceMs), start);
+        Map<String, Integer> counts = new HashMap<>();
+        history.messagesByKey()
+                .values()
+                .forEach(messages -> messages.forEach(message -> {
+                    counts.merge("handed in", 1, Integer::sum);
+                    if (message.accepted) {
+                        counts.merge("accepted", 1, Integer::sum);
+                        boolean notified = message.notifiedAt != OrderHistory.NEVER;
+                        counts.merge(
+                                notified ? "notified" : "delivered",
+                                message.overAt() == OrderHistory.NEVER ? 0 : 1,
+                                Integer::sum);
+                    }
+                }));
+        return new Result(
+                checker.check(history),
+                counts.getOrDefault("handed in", 0),
+                counts.getOrDefault("accepted", 0),
+                counts.getOrDefault("delivered", 0),
+                counts.getOrDefault("notified", 0));
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (process != null) {
+            process.kill();
+        }
+        for (AutoCloseable each : open) {
+            try {
+                each.close();
+            } catch (IOException e) {
+                throw e;
+            } catch (Exception e) { // none of these throws another one
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -0,0 +1,106 @@
+package elderseam.testkit.ordering;
+
+import elderseam.testkit.ordering.OrderHistory.Call;
+import elderseam.testkit.ordering.OrderHistory.CallEnd;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.util.SplittableRandom;
+
+/** An endpoint that records its calls and answers them well or badly, as a seed says. */
+final class RecordingEndpoint implements AutoCloseable {
+    private static final int HANG_LIMIT_MS = 20_000;
+    private static final int MAX_FAULT_DELAY_MS = 120;
+
+    /** What it does with a call. */
+    private enum Answer {
+        DELIVER,
+        HANG,
+        RESET,
+        FAIL,
+        REFUSE
+    }
+
+    private final OrderHistory history;
+    private final SplittableRandom random;
+    private final int minDelayMs;
+    private final int maxDelayMs;
+    private final double faultRatio;
+    private final LoopbackServer server;
+
+    /**
+     * @param random used by many threads in an order of their own, under this object's lock
+     * @param faultRatio how many of the calls are answered badly, 0 to 1
+     */
+    RecordingEndpoint(
+            InetAddress address,
+            OrderHistory history,
+            SplittableRandom random,
+            int minDelayMs,
+            int maxDelayMs,
+            double faultRatio)
+            throws IOException {
+        this.history = history;
+        this.random = random;
+        this.minDelayMs = minDelayMs;
+        this.maxDelayMs = maxDelayMs;
+        this.faultRatio = faultRatio;
+        this.server = new LoopbackServer(address, this::serve);
+    }
+
+    String address() {
+        return server.address();
+    }
+
+    private void serve(HttpConnection connection) throws IOException {
+        for (HttpConnection.Message request = connection.read(0); request != null; request = connection.read(0)) {
+            if (!answer(connection, request.header("X-Txn"))) {
+                return;
+            }
+        }
+    }
+
+    /** Answers one call; false where that ended the connection. */
+    private boolean answer(HttpConnection connection, String id) throws IOException {
+        Call call = history.callBegan(id);
+        Answer answer = nextAnswer();
+        long delayMs = answer == Answer.HANG ? HANG_LIMIT_MS : nextDelayMs(answer);
+        if (connection.endsWithin(delayMs)) {
+            history.callEnded(call, CallEnd.BROKEN);
+            return false;
+        }
+        switch (answer) {
+            case DELIVER -> end(connection, call, CallEnd.DELIVERED, 200, "");
+            case FAIL -> end(connection, call, CallEnd.FAILED, 500, "");
+            case REFUSE -> end(connection, call, CallEnd.REFUSED, 429, "X-RateLimit-Wait-Ms: 50\r\n");
+            case HANG, RESET -> {
+                history.callEnded(call, CallEnd.BROKEN);
+                connection.reset();
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void end(HttpConnection connection, Call call, CallEnd how, int status, String headers) throws IOException {
+        history.callEnded(call, how);
+        connection.answer(status, headers, "");
+    }
+
+    private synchronized Answer nextAnswer() {
+        if (random.nextDouble() >= faultRatio) {
+            return Answer.DELIVER;
+        }
+        return Answer.values()[1 + random.nextInt(Answer.values().length - 1)];
+    }
+
+    private synchronized long nextDelayMs(Answer answer) {
+        return answer == Answer.DELIVER
+                ? random.nextInt(minDelayMs, maxDelayMs + 1)
+                : random.nextInt(1, MAX_FAULT_DELAY_MS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
@@ -0,0 +1,39 @@
+package elderseam.testkit.ordering;
+
+import static elderseam.testkit.ordering.OrderTrial.Action.KILL;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Messages of an ordering key go out one at a time, in the order in which they were handed in. */
+class OrderTrialTest {
+    private static final OrderTrial.Load SIX_MESSAGES_OF_FOUR_KEYS = new OrderTrial.Load(4, 6, 5, 8_000, 8_000);
+    private static final OrderTrial.Surroundings ONE_STEADY_ENDPOINT =
+            new OrderTrial.Surroundings(1, 150, 150, 0, 1, 0);
+
+    @TempDir
+    Path folder;
+
+    private void keepsOrder(
+            long seed, OrderTrial.Load load, OrderTrial.Surroundings surroundings, List<OrderTrial.Action> actions)
+            throws Exception {
+        OrderTrial.Result result = OrderTrial.play(folder, seed, load, surroundings, actions);
+        System.out.println("seed " + seed + " " + actions + ": " + result);
+        assertEquals(List.of(), result.violations().stream().limit(5).toList());
+        assertTrue(result.accepted() > 0, "nothing was accepted");
+    }
+
+    @Test
+    void withoutAnyFault() throws Exception {
+        keepsOrder(1, SIX_MESSAGES_OF_FOUR_KEYS, ONE_STEADY_ENDPOINT, List.of());
+    }
+
+    @Test
+    void acrossAKill() throws Exception {
+        keepsOrder(2, SIX_MESSAGES_OF_FOUR_KEYS, ONE_STEADY_ENDPOINT, List.of(KILL));
+    }
+}
