--- a/src/main/java/elderseam/core/DuplicateRequests.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -17,6 +17,7 @@
     private final Map<Byte, Frontend> frontends;
     private final Metrics metrics;
     private final RequestLog log;
+    private final MessageOrder order;
     private final DuplicateIndex index = new DuplicateIndex();
 
     DuplicateRequests(
@@ -25,13 +26,15 @@
             EventLoop loop,
             Map<Byte, Frontend> frontends,
             Metrics metrics,
-            RequestLog log) {
+            RequestLog log,
+            MessageOrder order) {
         this.journal = journal;
         this.clock = clock;
         this.loop = loop;
         this.frontends = frontends;
         this.metrics = metrics;
         this.log = log;
+        this.order = order;
     }
 
     /** The request is the first in flight with its key. */
@@ -69,6 +72,7 @@
         if (!journal.acceptedDuplicate(duplicate)) {
             return false;
         }
+        order.reserve(duplicate);
         await(duplicate, first);
         return true;
     }
@@ -129,6 +133,7 @@
         metrics.requestCompleted(duplicate.classIndex(), outcome, reason);
         log.completed(duplicate, outcome, reason);
         journal.completed(duplicate, outcome, true);
+        order.completed(duplicate, outcome, true);
         frontends.get(duplicate.frontend()).completed(duplicate, outcome);
     }
 }
--- a/src/main/java/elderseam/core/FinalOutcome.java
+++ b/src/main/java/elderseam/core/FinalOutcome.java
@@ -46,6 +46,11 @@
         return new FinalOutcome(Kind.REJECTED, retryAfterNs);
     }
 
+    /** Whether a client that was told of the acceptance has to be notified of it. */
+    boolean needsNotification() {
+        return kind == Kind.REJECTED || kind == Kind.FAILED;
+    }
+
     /** Whether it is a rejection: the only outcome after which the same message may be submitted anew. */
     boolean isRejection() {
         return kind == Kind.REJECTED;
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -131,6 +131,7 @@
      */
     public void takeOver(State state, Consumer<InFlightAttempt> cancel) {
         policy.transferState(clock.now(), new PolicySnapshotCodec.Reader(state.policySnapshot(), clock, false));
+        dispatcher.restoreOrder();
         Map<String, InFlightAttempt> inFlight = new HashMap<>();
         state.inFlight().forEach(attempt -> inFlight.put(attempt.requestId(), attempt));
         for (ActiveRequest request : journal.unfinishedOf(inFlight.keySet())) {
@@ -151,7 +152,11 @@
         request.inFlightCall = () -> cancel.accept(inFlight);
         // the client is notified in time even where the other process falls silent
         long giveUpAt = request.message.deadline() - ActiveRequest.NOTIFICATION_RESERVE_NS / 2;
-        loop.at(Math.max(clock.now(), giveUpAt), () -> giveUp(request, attempt));
+        loop.at(Math.max(clock.now(), giveUpAt), () -> {
+            if (giveUp(request, attempt)) {
+                cancel.accept(inFlight); // else it would still be in flight when the next of its ordering key begins
+            }
+        });
     }
 
     /** Takes an outcome that the other process forwards. */
@@ -182,13 +187,16 @@
     }
 
     /**
-     * Ends an adopted attempt of unknown outcome; its endpoint did nothing wrong, so that does not count against it.
+     * Ends an adopted attempt of unknown outcome; its endpoint did nothing wrong, so that does not count against it. Whether it was
+     * still in flight.
      */
-    private void giveUp(ActiveRequest request, AttemptTracker.ActiveAttempt attempt) {
+    private boolean giveUp(ActiveRequest request, AttemptTracker.ActiveAttempt attempt) {
         boolean current = request.inFlightCall != null && request.lastAttempt == attempt;
-        if (current && adopted.remove(request.id())) {
+        boolean givenUp = current && adopted.remove(request.id());
+        if (givenUp) {
             attempt.ended(AttemptOutcome.unanswered(Progress.WRITTEN, Status.ABANDONED));
         }
+        return givenUp;
     }
 
     private static boolean isLastAttempt(ActiveRequest request, ForwardedOutcome message) {
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -54,18 +54,28 @@
         byte[] key = message.hasDeduplicationKey()
                 ? JournalRecordEncoder.deduplicationKey(message.id(), message.deduplicationKey())
                 : NO_RECORD;
-        int bytes = record.length + key.length;
-        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES)) {
-            return false;
-        }
-        if ((key.length > 0 && !log.append(key)) || !log.append(record)) {
+        byte[] orderKey = orderKeyRecord(message);
+        int bytes = record.length + key.length + orderKey.length;
+        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES)
+                || !appendIfAny(key)
+                || !appendIfAny(orderKey)
+                || !log.append(record)) {
             return false;
         }
         index.deduplicationKey(message.id(), message.deduplicationKey());
+        index.orderKey(message.id(), message.orderKey());
         index.accepted(message, bytes);
         return true;
     }
 
+    private static byte[] orderKeyRecord(ActiveRequest.Message message) {
+        return message.isOrdered() ? JournalRecordEncoder.orderKey(message.id(), message.orderKey()) : NO_RECORD;
+    }
+
+    private boolean appendIfAny(byte[] record) {
+        return record.length == 0 || log.append(record);
+    }
+
     /**
      * Records an accepted message that waits for the outcome of another with its key; false where there is no
      * capacity.
@@ -73,10 +83,13 @@
     public boolean acceptedDuplicate(ActiveRequest.Message message) {
         byte[] record = JournalRecordEncoder.acceptedDuplicate(
                 message, clock.toWall(message.deadline()), clock.toWall(message.rememberUntil()));
-        if (!hasCapacity(record.length + JournalEntry.RESERVED_BYTES) || !log.append(record)) {
+        byte[] orderKey = orderKeyRecord(message);
+        int bytes = record.length + orderKey.length;
+        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES) || !appendIfAny(orderKey) || !log.append(record)) {
             return false;
         }
-        index.acceptedDuplicate(message, record.length);
+        index.orderKey(message.id(), message.orderKey());
+        index.acceptedDuplicate(message, bytes);
         return true;
     }
 
@@ -102,9 +115,11 @@
 
     /** Records the final outcome of a message; {@code acknowledged}: its client waits to be notified. */
     public void completed(ActiveRequest.Message message, FinalOutcome outcome, boolean acknowledged) {
-        boolean notifies = outcome.isRejection() || outcome.kind() == FinalOutcome.Kind.FAILED;
         JournalEntry entry = JournalEntry.completed(
-                message.frontend(), clock.toWall(message.rememberUntil()), outcome, acknowledged && notifies);
+                message.frontend(),
+                clock.toWall(message.rememberUntil()),
+                outcome,
+                acknowledged && outcome.needsNotification());
         log.append(JournalRecordEncoder.completed(message.id(), entry));
         index.completed(message.id(), entry);
         index.sweepIfGrown();
@@ -163,6 +178,19 @@
         return index.owedOutcomes();
     }
 
+    /**
+     * The ordering keys of the messages that are unfinished, or of whose outcome the client is yet to be notified, by
+     * their ids, in the order in which they were accepted.
+     */
+    Map<String, String> unsettledOrderKeys() {
+        return index.unsettledOrderKeys();
+    }
+
+    /** Whether an earlier process has left anything at all. */
+    boolean isEmpty() {
+        return index.isEmpty();
+    }
+
     // ---------------------------------------------------------------- operators' settings
 
     /**
--- a/src/main/java/elderseam/core/JournalEntry.java
+++ b/src/main/java/elderseam/core/JournalEntry.java
@@ -88,8 +88,11 @@
         return attemptBeganMs != NEVER;
     }
 
-    /** An attempt begins. */
+    /** An attempt begins; one that never was seen to end may have run. */
     void attemptBegan(long wallMs) {
+        if (hasAttemptInFlight()) {
+            attemptEnded(true);
+        }
         attempts++;
         attemptBeganMs = wallMs;
     }
--- a/src/main/java/elderseam/core/JournalIndex.java
+++ b/src/main/java/elderseam/core/JournalIndex.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -25,6 +26,10 @@
     private final Clock clock;
     private final Map<String, JournalEntry> entries = new LinkedHashMap<>();
     private final JournalKeys keys = new JournalKeys();
+
+    /** The ordering keys of the messages that have one and are not settled, by their ids. */
+    private final Map<String, String> orderKeys = new HashMap<>();
+
     private final Set<String> drained = new LinkedHashSet<>();
     private long drainedBytes;
     private long liveBytes;
@@ -51,6 +56,18 @@
         keys.put(id, key);
     }
 
+    @Override
+    public String orderKeyOf(String id) {
+        return orderKeys.getOrDefault(id, "");
+    }
+
+    @Override
+    public void orderKey(String id, String key) {
+        if (!key.isEmpty()) {
+            orderKeys.put(id, key);
+        }
+    }
+
     @Override
     public void accepted(ActiveRequest.Message message, int recordBytes) {
         put(message.id(), unfinishedEntry(message, recordBytes, false));
@@ -98,6 +115,7 @@
     public void completed(String id, JournalEntry entry) {
         put(id, entry);
         if (!entry.notificationOwed) {
+            orderKeys.remove(id);
             forgetRejection(id, entry);
         }
     }
@@ -107,6 +125,7 @@
         JournalEntry entry = entries.get(id);
         if (entry != null) {
             entry.notificationOwed = false;
+            orderKeys.remove(id);
             forgetRejection(id, entry);
         }
     }
@@ -156,6 +175,7 @@
             }
             return expired;
         });
+        orderKeys.keySet().retainAll(entries.keySet()); // what was never accepted after its key was written
         long entryBytes =
                 entries.values().stream().mapToLong(JournalEntry::liveBytes).sum();
         liveBytes = entryBytes + keys.schemeBytes() + drainedBytes;
@@ -175,6 +195,9 @@
             if (key.isPresent()) {
                 sink.write(JournalRecordEncoder.deduplicationKey(id, key.get()));
             }
+            if (orderKeys.containsKey(id)) {
+                sink.write(JournalRecordEncoder.orderKey(id, orderKeys.get(id)));
+            }
             for (byte[] record : entry.getValue().records(id, clock)) {
                 sink.write(record);
             }
@@ -183,6 +206,22 @@
 
     // ---------------------------------------------------------------- messages
 
+    /** Whether there is no message at all. */
+    boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** The ordering keys of the messages that are not settled, by their ids, in the order of their acceptance. */
+    Map<String, String> unsettledOrderKeys() {
+        Map<String, String> unsettled = new LinkedHashMap<>();
+        for (String id : entries.keySet()) {
+            if (orderKeys.containsKey(id)) {
+                unsettled.put(id, orderKeys.get(id));
+            }
+        }
+        return unsettled;
+    }
+
     /** The final outcome of a message, where it is remembered. */
     Optional<FinalOutcome> outcome(String id) {
         JournalEntry entry = entries.get(id);
--- a/src/main/java/elderseam/core/JournalRecordDecoder.java
+++ b/src/main/java/elderseam/core/JournalRecordDecoder.java
@@ -32,6 +32,7 @@
             case JournalRecordFormat.ACCEPTED_DUPLICATE ->
                 handler.acceptedDuplicate(readMessage(in, id, true), recordBytes);
             case JournalRecordFormat.DEDUPLICATION_KEY -> handler.deduplicationKey(id, in.readUTF());
+            case JournalRecordFormat.ORDER_KEY -> handler.orderKey(id, in.readUTF());
             case JournalRecordFormat.ATTEMPT_BEGAN -> handler.attemptBegan(id, in.readLong());
             case JournalRecordFormat.ATTEMPT_ENDED -> handler.attemptEnded(id, in.readBoolean());
             case JournalRecordFormat.ATTEMPT_STATE ->
@@ -44,7 +45,7 @@
         }
     }
 
-    /** A duplicate's record holds its key; that of another message stands in a record before. */
+    /** A duplicate's record holds its key; that of another message, and ordering keys, stand in records before. */
     private ActiveRequest.Message readMessage(DataInputStream in, String id, boolean duplicate) throws IOException {
         byte frontend = in.readByte();
         int classIndex = in.readInt();
@@ -70,7 +71,7 @@
                 idempotencyKey,
                 body,
                 deduplicationKey,
-                "");
+                handler.orderKeyOf(id));
     }
 
     private static JournalEntry readCompleted(DataInputStream in) throws IOException {
--- a/src/main/java/elderseam/core/JournalRecordEncoder.java
+++ b/src/main/java/elderseam/core/JournalRecordEncoder.java
@@ -67,6 +67,11 @@
         return encode(JournalRecordFormat.DEDUPLICATION_KEY, id, out -> out.writeUTF(key));
     }
 
+    /** The ordering key of a message; stands before the message's own record. */
+    static byte[] orderKey(String id, String key) {
+        return encode(JournalRecordFormat.ORDER_KEY, id, out -> out.writeUTF(key));
+    }
+
     /** An attempt is about to be sent. */
     static byte[] attemptBegan(String id, long wallMs) {
         return encode(JournalRecordFormat.ATTEMPT_BEGAN, id, out -> out.writeLong(wallMs));
--- a/src/main/java/elderseam/core/JournalRecordHandler.java
+++ b/src/main/java/elderseam/core/JournalRecordHandler.java
@@ -10,6 +10,11 @@
 
     void deduplicationKey(String id, String key);
 
+    /** The ordering key that an earlier record gave a message, or an empty one. */
+    String orderKeyOf(String id);
+
+    void orderKey(String id, String key);
+
     /** {@code recordBytes}: what the record takes of the file, as in all methods. */
     void accepted(ActiveRequest.Message message, int recordBytes);
 
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -30,7 +30,7 @@
 
     /** Counts a final outcome. A withdrawn request is counted where it ended. */
     void requestCompleted(int classIndex, FinalOutcome outcome, OutcomeReason reason) {
-        if (outcome.kind() == FinalOutcome.Kind.REJECTED || outcome.kind() == FinalOutcome.Kind.FAILED) {
+        if (outcome.needsNotification()) {
             undelivered.merge(reason, 1L, Long::sum);
         }
         ClassCounters counters = byClass[classIndex];
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -9,6 +9,8 @@
 import elderseam.policy.LimitReport;
 import elderseam.policy.ListUpdateKind;
 import elderseam.policy.ListedEndpoint;
+import elderseam.policy.OrderedKeyCounts;
+import elderseam.policy.OrderedKeyView;
 import elderseam.policy.PolicyActions;
 import elderseam.policy.PolicyEvents;
 import elderseam.policy.PolicyRequest;
@@ -33,8 +35,6 @@
         }
     }
 
-    private static final long NO_ORDER_KEY = -1;
-
     private final PolicySettings settings;
     private final DispatchPolicy policy;
     private final BreakerListener breakers;
@@ -83,13 +83,43 @@
                 message.id(),
                 message.classIndex(),
                 message.tenantIndex(),
-                NO_ORDER_KEY,
+                OrderKeyHash.of(message.orderKey()),
                 message.deadline(),
                 message.destination(),
                 message.resubmitted(),
                 message.retriesWithinKeyWindow());
     }
 
+    /** An accepted message that has an ordering key, and that the policy does not hold, takes the last place there. */
+    void reserve(long time, String requestId, String orderKey) {
+        advanceTo(time);
+        policy.reserved(now, OrderKeyHash.of(orderKey), requestId);
+    }
+
+    /** Nothing is owed to the client of that message any more: the next of its ordering key may be attempted. */
+    void settle(long time, String requestId) {
+        advanceForEvent(time);
+        policy.settled(now, requestId);
+    }
+
+    /** Attempts of an earlier process may have ended just now; to be told before any request. */
+    void restKeys(long time) {
+        advanceTo(time);
+        policy.keysRest(now);
+    }
+
+    /** How the ordering key of a message stands that is not settled. */
+    OrderedKeyView orderedKey(long time, String requestId) {
+        advanceTo(time);
+        return policy.orderedKey(now, requestId);
+    }
+
+    /** The ordering keys, counted. */
+    OrderedKeyCounts orderedKeys(long time) {
+        advanceTo(time);
+        return policy.orderedKeys(now);
+    }
+
     /** A submitted request's last attempt is still in flight in another process, since {@code start}. */
     void adopt(long time, ActiveRequest request, String endpoint, long start) {
         advanceForEvent(time);
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -38,6 +38,7 @@
     private final OperatorDrains drains;
     private final Metrics metrics;
     private final RequestLog log;
+    private final MessageOrder order;
     private final AttemptTracker attempts;
     private final Handover handover;
     private final PolicySnapshots snapshots;
@@ -69,8 +70,9 @@
         this.drains = new OperatorDrains(journal.drainedEndpoints());
         this.metrics = new Metrics(settings.classes().size());
         this.log = new RequestLog(clock);
-        this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics, log);
         this.policy = new PolicyFacade(settings, seed, breakers);
+        this.order = new MessageOrder(settings, policy, journal, clock);
+        this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics, log, order);
         this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics, log);
         this.handover = new Handover(this, attempts, policy, journal, clock, loop);
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
@@ -127,6 +129,7 @@
         lines.add("edge_relay.inflight=" + requestsInFlight());
         lines.add("edge_relay.hosts_listed=" + listed.listed());
         lines.add("edge_relay.hosts_down=" + listed.unavailable());
+        order.appendMetrics("edge_relay.", lines);
         return lines;
     }
 
@@ -138,6 +141,7 @@
      * @param onReady run once, when the process may report itself ready
      */
     public void recover(IntSupplier unsentNotifications, Runnable onReady) {
+        order.restore();
         List<ActiveRequest> unfinished = journal.unfinished(handover.adopted());
         unfinished.forEach(this::restore);
         duplicates.recover();
@@ -197,7 +201,7 @@
      *     the final outcome, which does not go to the frontend again.
      */
     public Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
-        return admission.submit(message, alternateKeys);
+        return admission.submit(order.normalize(message), alternateKeys);
     }
 
     /** Holds an accepted message; its outcome where the policy decides it at once, or null. */
@@ -248,6 +252,9 @@
     public void markNotified(String id) {
         log.notified(id);
         journal.notified(id);
+        if (order.notified(id)) {
+            decisions.runSoon();
+        }
     }
 
     /** Announces that the process ends at that time: nothing begins that would hardly be answered before it. */
@@ -288,6 +295,11 @@
         endpoints.forEach(endpoint -> policy.defer(clock.now(), endpoint, pauseNs));
     }
 
+    /** Reserves the places in ordering keys of all that an earlier process left. */
+    void restoreOrder() {
+        order.restore();
+    }
+
     /** The transfer of requests from one process to the next. */
     public Handover handover() {
         return handover;
@@ -354,6 +366,7 @@
         log.completed(message, outcome, reason);
         requests.remove(request.id());
         journal.completed(message, outcome, request.acknowledged);
+        order.completed(message, outcome, request.acknowledged);
         if (request.acknowledged) {
             frontends.get(message.frontend()).completed(message, outcome);
         }
--- a/src/main/java/elderseam/core/RequestLog.java
+++ b/src/main/java/elderseam/core/RequestLog.java
@@ -90,7 +90,7 @@
                     field("reason", reason.label()),
                     field("retry_after_ms", outcome.retryAfterNs() / Clock.MILLISECOND_NS));
         }
-        if (outcome.kind() == FinalOutcome.Kind.REJECTED || outcome.kind() == FinalOutcome.Kind.FAILED) {
+        if (outcome.needsNotification()) {
             undelivered.merge(reason, 1, Integer::sum);
             lastUndelivered = message.id();
             summarize();
--- a/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
@@ -41,6 +41,10 @@
     private static final long DEFAULT_DESCRIPTORS = 1_024;
     private static final long DEFAULT_MEMORY_MB = 192;
     private static final int SEED_RADIX = 16;
+    private static final String KEY_REST_SETTING = "safety.keyQuietNs";
+
+    /** On sockets each limit of time is so much longer than the settings say (the platform's protocol, "The rules"). */
+    private static final long SOCKET_TOLERANCE_NS = 50_000_000;
 
     /**
      * Reads and checks the configuration.
@@ -88,7 +92,10 @@
         }
         // A list reaches a process of its own only as an answer: where it is said to be pushed, it comes to a watch.
         values.put("discovery", "ask");
-        return new SettingsMap(values);
+        SettingsMap checked = new SettingsMap(values);
+        long keyRestNs = checked.getLong(KEY_REST_SETTING, 0) + SOCKET_TOLERANCE_NS;
+        values.put(KEY_REST_SETTING, Long.toString(keyRestNs));
+        return checked;
     }
 
     private static ResourceLimits readLimits(JsonValue limits) {
--- a/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -90,7 +90,7 @@
     private void forward(QueuedRequest queued) {
         HttpServer.Request request = withTimeLeft(queued);
         HttpRequest forwarded =
-                new HttpRequest(request.method(), request.path(), endToEndHeaders(request), request.body());
+                new HttpRequest(request.method(), request.target(), endToEndHeaders(request), request.body());
         inFlight++;
         long deadline = io.clock.now() + ANSWER_TIMEOUT_NS;
         connections.send(successor, forwarded, deadline, deadline, result -> {
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -95,6 +95,36 @@
         request.keyValidUntil = keyValidUntil;
     }
 
+    @Override
+    public void reserved(long now, long orderKey, String id) {
+        advance(now);
+        requests.reserve(orderKey, id);
+    }
+
+    @Override
+    public void settled(long now, String id) {
+        advance(now);
+        requests.settle(id);
+    }
+
+    @Override
+    public void keysRest(long now) {
+        advance(now);
+        requests.restNewKeys(now + context.settings.keyRestNs());
+    }
+
+    @Override
+    public OrderedKeyView orderedKey(long now, String id) {
+        advance(now);
+        return requests.keyOf(id);
+    }
+
+    @Override
+    public OrderedKeyCounts orderedKeys(long now) {
+        advance(now);
+        return requests.countKeys();
+    }
+
     @Override
     public void adopted(long now, String id, String endpoint, long start) {
         advance(now);
@@ -126,13 +156,10 @@
         advance(now);
         context.answerLoss.roll(now);
         PendingRequest request = requests.get(outcome.id());
-        AttemptRecord call = request == null ? null : request.inFlight.remove(outcome.attempt());
+        AttemptRecord call = request == null ? null : requests.detach(request, outcome.attempt());
         if (call == null) {
             return;
         }
-        if (request.keyQueue != null) {
-            request.keyQueue.inFlight--;
-        }
         outliers.onOutcome(call, outcome, now);
         if (--call.pending == 0) {
             call.group.tickets.giveBack(call);
--- a/src/main/java/elderseam/policy/LoadShedder.java
+++ b/src/main/java/elderseam/policy/LoadShedder.java
@@ -62,7 +62,7 @@
         } else {
             context.actions.fail(request.message.id(), reason);
         }
-        context.requests.finish(request);
+        context.requests.giveUp(request);
     }
 
     /** When the destination may have a ticket again, as far as it can be told. */
--- a/src/main/java/elderseam/policy/PolicyActions.java
+++ b/src/main/java/elderseam/policy/PolicyActions.java
@@ -8,10 +8,16 @@
     /** Stops waiting for an attempt, counted from 0; it ends as CANCELLED or as it was about to. */
     void cancel(String id, int attempt);
 
-    /** Final answer: rejected; repeating the request is harmless, after {@code retryAfterNs}. */
+    /**
+     * Final answer: rejected; repeating the request is harmless, after {@code retryAfterNs}. The host reports {@link
+     * PolicyEvents#settled} once the client has heard it.
+     */
     void reject(String id, long retryAfterNs, GiveUpReason reason);
 
-    /** Final answer: failed, and it may have taken effect. */
+    /**
+     * Final answer: failed, and it may have taken effect. The host reports {@link PolicyEvents#settled} once the client
+     * has heard it.
+     */
     void fail(String id, GiveUpReason reason);
 
     /** Calls {@link PolicyEvents#timer} with the token once, at or after this many nanoseconds from now. */
--- a/src/main/java/elderseam/policy/PolicyEvents.java
+++ b/src/main/java/elderseam/policy/PolicyEvents.java
@@ -28,6 +28,33 @@
      */
     void restored(long now, PolicyRequest request, int attempts, boolean mayHaveRun, long keyValidUntil);
 
+    /**
+     * A request with that ordering key, in an ordered class, was accepted and is not over, and the policy does not hold
+     * it: an earlier process left it, and it is yet to be {@link #restored}; or another request stands for it; or its
+     * client has yet to hear its final answer. It takes the last place of its key, and holds what comes after it until
+     * {@link #settled}.
+     */
+    void reserved(long now, long orderKey, String id);
+
+    /**
+     * The client of that request has heard its rejection or failure, or is owed nothing: the next of its ordering key
+     * may be attempted. Owed for each request with an ordering key that the policy rejected or failed, and for each one
+     * that was {@link #reserved}; ignored for any other.
+     */
+    void settled(long now, String id);
+
+    /**
+     * Attempts of an earlier process may have ended just now, with ends that nobody knows: every ordering key rests. To
+     * be told before any request.
+     */
+    void keysRest(long now);
+
+    /** How the ordering key of a request stands that is not settled. */
+    OrderedKeyView orderedKey(long now, String id);
+
+    /** The ordering keys, counted. */
+    OrderedKeyCounts orderedKeys(long now);
+
     /**
      * The last attempt of a restored request is still in flight at another process of this sender; its outcome will
      * come.
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -91,10 +91,9 @@
         return false;
     }
 
-    /** Whether it is the oldest of its ordering key, and nothing of the key is in flight or resting. */
     private static boolean isNextOfItsKey(PendingRequest request, long now) {
         OrderedKeyQueue key = request.keyQueue;
-        return key == null || (key.queue.peek() == request && key.inFlight == 0 && now >= key.restUntil);
+        return key == null || key.holdOf(request.message.id(), now) == OrderedKeyQueue.Hold.NONE;
     }
 
     /** A trial should risk little, then be worth much. */
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -0,0 +1,70 @@
+package elderseam.testkit.ordering;
+
+import elderseam.testkit.ordering.OrderTrial.Action;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Plays one run for each seed of a range, with load, surroundings and a series of signals drawn from the seed, and prints
+ * what broke. Exits with 1 where anything did.
+ */
+public final class OrderSoak {
+    private static final int MIN_ACTIONS = 3;
+    private static final int MAX_ACTIONS = 8;
+    private static final int UNLIMITED = 100_000;
+
+    private OrderSoak() {}
+
+    /** {@code FIRST-SEED LAST-SEED [FOLDER]}; a temporary folder unless told. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        if (arguments.length < 2 || arguments.length > 3) {
+            System.err.println("usage: OrderSoak FIRST-SEED LAST-SEED [FOLDER]");
+            System.exit(2);
+        }
+        long first = Long.parseLong(arguments[0]);
+        long last = Long.parseLong(arguments[1]);
+        Path folder = arguments.length > 2 ? Path.of(arguments[2]) : Files.createTempDirectory("elderseam-order");
+        int broken = 0;
+        for (long seed = first; seed <= last; seed++) {
+            Path own = Files.createDirectories(folder.resolve("seed-" + seed));
+            OrderTrial.Result result = play(own, seed);
+            System.out.println("seed " + seed + " " + actions(seed) + " " + result);
+            result.violations().stream().limit(10).forEach(violation -> System.out.println("  " + violation));
+            broken += result.violations().isEmpty() ? 0 : 1;
+        }
+        System.out.println((last - first + 1) + " seeds, " + broken + " with violations");
+        System.exit(broken == 0 ? 0 : 1); // threads of the stand-ins run on
+    }
+
+    /** Plays the run of one seed. */
+    public static OrderTrial.Result play(Path folder, long seed) throws IOException, InterruptedException {
+        SplittableRandom random = new SplittableRandom(seed);
+        int keys = random.nextInt(3, 13);
+        int maxPauseMs = random.nextInt(10, 300);
+        int minRemainingMs = random.nextInt(300, 3_000);
+        OrderTrial.Load load = new OrderTrial.Load(keys, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
+        OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
+                random.nextInt(1, 4),
+                random.nextInt(1, 40),
+                random.nextInt(40, 250),
+                random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3,
+                random.nextInt(1, 600),
+                random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2);
+        return OrderTrial.play(folder, seed, load, surroundings, actions(seed));
+    }
+
+    /** The signals of a seed, in series. */
+    static List<Action> actions(long seed) {
+        SplittableRandom random = new SplittableRandom(~seed);
+        List<Action> actions = new ArrayList<>();
+        int count = random.nextInt(MIN_ACTIONS, MAX_ACTIONS + 1);
+        for (int i = 0; i < count; i++) {
+            actions.add(Action.values()[random.nextInt(Action.values().length)]);
+        }
+        return actions;
+    }
+}
--- a/src/main/java/elderseam/testkit/simulator/HostedPolicy.java
+++ b/src/main/java/elderseam/testkit/simulator/HostedPolicy.java
@@ -18,6 +18,9 @@
 
     private long lastBatch;
 
+    /** Time of the current batch, in nanoseconds of the simulator's clock. */
+    private long now;
+
     /**
      * Creates a dispatcher without its policy.
      *
@@ -34,7 +37,8 @@
     }
 
     /** Records that this dispatcher has an event in a batch; returns whether it is its first there. */
-    boolean markActive(long batchCount) {
+    boolean markActive(long batchCount, long batchTime) {
+        now = batchTime;
         boolean first = lastBatch != batchCount;
         lastBatch = batchCount;
         return first;
@@ -90,11 +94,13 @@
         StringBuilder line = line("BOUNCE");
         line.append(' ').append(requestId);
         line.append(' ').append(retryAfterNanos).append('\n');
+        policy.settled(now, requestId); // the simulator's clients hear it at once
     }
 
     @Override
     public void fail(String requestId, GiveUpReason reason) {
         line("FAIL").append(' ').append(requestId).append('\n');
+        policy.settled(now, requestId);
     }
 
     @Override
--- a/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
+++ b/src/main/java/elderseam/testkit/simulator/SimulatorHost.java
@@ -105,7 +105,7 @@
                     return;
                 }
                 case "MANIFEST" -> readEndpointList(fields);
-                case "ENLIST" -> startPolicy(fields);
+                case "ENLIST" -> startPolicy(fields, now);
                 default -> handleEvent(message, fields, now);
             }
         }
@@ -125,14 +125,14 @@
     }
 
     /** Starts a dispatcher's policy; one that runs under the same name is replaced. */
-    private void startPolicy(LineFields fields) {
+    private void startPolicy(LineFields fields, long now) {
         String dispatcher = fields.text("courier");
         long seed = fields.number("seed");
         HostedPolicy started = new HostedPolicy(dispatcher, reply);
         policies.put(dispatcher, started);
         activePolicies.removeIf(active -> active.dispatcher().equals(dispatcher));
         activePolicies.add(started);
-        started.markActive(batchCount);
+        started.markActive(batchCount, now);
         started.start(fields, seed);
     }
 
@@ -142,7 +142,7 @@
         if (hosted == null) {
             throw fields.fault("unknown instance " + dispatcher);
         }
-        if (hosted.markActive(batchCount)) {
+        if (hosted.markActive(batchCount, now)) {
             activePolicies.add(hosted);
         }
         hosted.call(decoder.decode(event, fields, now));
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -343,12 +343,14 @@
                 entry.mayHaveRun && (idempotency == Idempotency.UNSAFE || keyOfOneZone),
                 "refused though it may have run");
         finish(entry, "refused");
+        policy.settled(now, id);
     }
 
     @Override
     public void fail(String id, GiveUpReason reason) {
         trace.add(now + " fail " + id);
         finish(requests.get(id), "failed");
+        policy.settled(now, id);
     }
 
     @Override
