--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +29,17 @@
     private static final long JOURNAL_BYTES = 1_000_000;
     private static final long DEADLINE_NS = 9_000 * Clock.MILLISECOND_NS;
 
-    final Clock clock = new Clock();
+    final Clock clock = new Clock() {
+        @Override
+        public long now() {
+            return super.now() + advancedNs;
+        }
+
+        @Override
+        public long wallMs() {
+            return super.wallMs() + advancedNs / MILLISECOND_NS;
+        }
+    };
 
     /** Tasks for later, or for after a pass over the sockets. */
     final List<Runnable> timers = new ArrayList<>();
@@ -41,39 +53,57 @@
     /** {@code ID KIND} of each completed request, of all dispatchers. */
     final List<String> completed = new ArrayList<>();
 
+    /** Id and endpoint of each attempt so far, as {@link #attempts}. */
+    final List<String> attemptIds = new ArrayList<>();
+
     boolean stalled;
+    private final IdentityHashMap<Runnable, Long> dueTimes = new IdentityHashMap<>();
+    private long advancedNs;
     RequestDispatcher dispatcher;
     private final Path folder;
+    private final PolicySettings settings;
 
     DispatcherHarness(Path folder) throws IOException {
+        this(folder, Map.of());
+    }
+
+    /** {@code changes}: settings in place of the usual ones, or besides them. */
+    DispatcherHarness(Path folder, Map<String, String> changes) throws IOException {
         this.folder = folder;
+        this.settings = settings(changes);
         dispatcher = newDispatcher();
         listEndpoint(dispatcher, ListUpdateKind.COMPLETE);
     }
 
     /** A dispatcher on the same folder, as the next process has it. */
     RequestDispatcher newDispatcher() throws IOException {
-        return newDispatcher(new Journal(folder, JOURNAL_BYTES, clock));
+        return newDispatcher(newJournal());
+    }
+
+    /** The journal of the folder, as another process would open it. */
+    Journal newJournal() throws IOException {
+        return new Journal(folder, JOURNAL_BYTES, clock);
     }
 
     RequestDispatcher newDispatcher(Journal journal) {
-        RequestDispatcher created = new RequestDispatcher(settings(), 1, journal, clock, this);
+        RequestDispatcher created = new RequestDispatcher(settings, 1, journal, clock, this);
         created.registerFrontend(
                 FRONTEND, (message, outcome) -> completed.add(message.id() + " " + outcome.kind()), this);
         return created;
     }
 
-    private static PolicySettings settings() {
-        return new SettingsMap(Map.of(
-                        "discovery", "ask",
-                        "extra.callSlots", "40",
-                        "limits.mostHeld", "64",
-                        "limits.maxAttempts", "3",
-                        "services.count", "1",
-                        "services.0.effect", "once",
-                        "services.0.targetNs", "2000000000",
-                        "services.0.giveUpNs", "9000000000"))
-                .settings();
+    private static PolicySettings settings(Map<String, String> changes) {
+        Map<String, String> values = new HashMap<>(Map.of(
+                "discovery", "ask",
+                "extra.callSlots", "40",
+                "limits.mostHeld", "64",
+                "limits.maxAttempts", "3",
+                "services.count", "1",
+                "services.0.effect", "once",
+                "services.0.targetNs", "2000000000",
+                "services.0.giveUpNs", "9000000000"));
+        values.putAll(changes);
+        return new SettingsMap(values).settings();
     }
 
     static void listEndpoint(RequestDispatcher target, ListUpdateKind kind) {
@@ -101,6 +131,35 @@
         return dispatcher.submit(message, List.of(alternateKeys));
     }
 
+    Optional<FinalOutcome> submitOrdered(String id, String orderKey, long remainingNs) {
+        long deadline = clock.now() + remainingNs;
+        return dispatcher.submit(new ActiveRequest.Message(
+                id,
+                FRONTEND,
+                0,
+                NO_TENANT,
+                DESTINATION,
+                deadline,
+                deadline,
+                false,
+                true,
+                "",
+                new byte[0],
+                "",
+                orderKey));
+    }
+
+    /** Moves the clocks, and runs what is due then. */
+    void advance(long ns) {
+        advancedNs += ns;
+        List<Runnable> due = timers.stream()
+                .filter(task -> dueTimes.getOrDefault(task, 0L) <= clock.now())
+                .toList();
+        timers.removeAll(due);
+        due.forEach(Runnable::run);
+        runDueTasks();
+    }
+
     /** Ends an attempt, counted from 0 over all dispatchers, and runs what is due then. */
     void end(int attempt, AttemptOutcome outcome) {
         attempts.get(attempt).ended(outcome);
@@ -121,6 +180,7 @@
     @Override
     public void at(long time, Runnable task) {
         (time <= clock.now() ? dueTasks : timers).add(task);
+        dueTimes.put(task, time);
     }
 
     @Override
@@ -137,6 +197,7 @@
     public EndpointCall send(
             ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener) {
         attempts.add(listener);
+        attemptIds.add(message.id());
         return () -> listener.ended(
                 AttemptOutcome.unanswered(AttemptOutcome.Progress.WRITTEN, AttemptOutcome.Status.ABANDONED));
     }
