Messages that the policy puts in one call travel as one: POST /receive-many

Change: PolicyActions.send says whether an attempt shares the call begun before it; the executor begins them together, the platform's sender encodes them (64 KiB at most) and reads the outcome of each; what an answer does not plainly say may have run.

--- a/src/main/java/elderseam/core/AttemptSender.java
+++ b/src/main/java/elderseam/core/AttemptSender.java
@@ -1,7 +1,12 @@
 package elderseam.core;
 
+import java.util.List;
+
 /** Sends attempts to endpoints. Called on the event-loop thread. */
 public interface AttemptSender {
+    /** One message of a call, and the listener of its attempt. */
+    record CallEntry(ActiveRequest.Message message, AttemptListener listener) {}
+
     /**
      * Begins an attempt that must be connected by {@code connectBy} and answered by {@code answerBy}, both of
      * {@link Clock#now}. The listener is never called from within this method.
@@ -9,6 +14,18 @@
     EndpointCall send(
             ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener);
 
+    /**
+     * Begins the attempts of several messages at one endpoint, in one call where the protocol has that. They end each by
+     * itself, and a cancelled one cancels all that share its call. By default each has a call of its own.
+     *
+     * @return what cancels each of them, in the order of the entries
+     */
+    default List<EndpointCall> sendAll(List<CallEntry> entries, String endpoint, long connectBy, long answerBy) {
+        return entries.stream()
+                .map(entry -> send(entry.message(), endpoint, connectBy, answerBy, entry.listener()))
+                .toList();
+    }
+
     /** Closes the idle connections to an endpoint. */
     void closeIdle(String endpoint);
 }
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -3,8 +3,11 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.policy.PolicySettings;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Begins and cancels attempts and takes their outcomes. Each attempt is in the journal before its first byte can be
@@ -66,24 +69,47 @@
         return inFlight.of(destination);
     }
 
-    /** Begins the request's next attempt, to be answered by that time at the latest. */
-    void begin(ActiveRequest request, String endpoint, long answerBy) {
+    /** Begins the next attempts of requests that share a call; one whose request is no longer in flight is left out. */
+    void begin(List<PolicyDecision.BeginAttempt> call) {
+        List<StartedAttempt> started = new ArrayList<>(call.size());
+        for (PolicyDecision.BeginAttempt begin : call) {
+            ActiveRequest request = dispatcher.request(begin.requestId());
+            if (request != null) {
+                start(request, begin).ifPresent(started::add);
+            }
+        }
+        CallSplitter.split(started, clock.now()).forEach(this::send);
+    }
+
+    /** Records an attempt; empty where it can't be sent. */
+    private Optional<StartedAttempt> start(ActiveRequest request, PolicyDecision.BeginAttempt begin) {
         long start = clock.now();
         int number = request.attempts;
         request.attempts++;
-        ActiveAttempt attempt = track(request, number, endpoint, start);
-        log.attemptBegan(request, number, endpoint);
+        ActiveAttempt attempt = track(request, number, begin.endpoint(), start);
+        log.attemptBegan(request, number, begin.endpoint());
         if (!journal.attemptBegins(request.id())) {
             // unrecorded, it must not be sent; held back here, it tells the policy nothing of the endpoint
             loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED)));
-            return;
+            return Optional.empty();
+        }
+        long latestAnswer = Math.min(begin.answerBy(), request.message.latestOutcome(start));
+        return Optional.of(new StartedAttempt(request, attempt, latestAnswer));
+    }
+
+    /** Sends attempts in one call, which is given up when the first of them must be answered. */
+    private void send(List<StartedAttempt> call) {
+        StartedAttempt first = call.get(0);
+        long answerBy = call.stream().mapToLong(StartedAttempt::answerBy).min().orElseThrow();
+        long connectBy = Math.min(answerBy, clock.now() + settings.connections().timeoutNs());
+        AttemptSender sender = senders.get(first.request().message.frontend());
+        List<AttemptSender.CallEntry> entries = call.stream()
+                .map(started -> new AttemptSender.CallEntry(started.request().message, started.attempt()))
+                .toList();
+        List<EndpointCall> calls = sender.sendAll(entries, first.attempt().endpoint, connectBy, answerBy);
+        for (int i = 0; i < calls.size(); i++) {
+            call.get(i).request().inFlightCall = calls.get(i);
         }
-        ActiveRequest.Message message = request.message;
-        long latestAnswer = Math.min(answerBy, message.latestOutcome(start));
-        long latestConnect =
-                Math.min(latestAnswer, start + settings.connections().timeoutNs());
-        AttemptSender sender = senders.get(message.frontend());
-        request.inFlightCall = sender.send(message, endpoint, latestConnect, latestAnswer, attempt);
     }
 
     /** Counts an attempt as in flight that begins here, or is still in flight in another process. */
--- a/src/main/java/elderseam/core/DecisionExecutor.java
+++ b/src/main/java/elderseam/core/DecisionExecutor.java
@@ -1,5 +1,10 @@
 package elderseam.core;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
 /** Executes the policy's decisions on a dispatcher's requests. Confined to the event-loop thread. */
 final class DecisionExecutor {
     private final RequestDispatcher dispatcher;
@@ -26,13 +31,36 @@
         dispatcher.flushNotifications();
     }
 
+    /** Executes decisions in their order; attempts that share a call begin together. */
+    void executeAll(List<PolicyDecision> decisions) {
+        Map<String, List<PolicyDecision.BeginAttempt>> calls = new LinkedHashMap<>(); // the last of each endpoint
+        for (PolicyDecision decision : decisions) {
+            if (decision instanceof PolicyDecision.BeginAttempt begin) {
+                if (!begin.sharesCall()) {
+                    beginCall(calls.remove(begin.endpoint()));
+                }
+                calls.computeIfAbsent(begin.endpoint(), endpoint -> new ArrayList<>(1))
+                        .add(begin);
+                continue;
+            }
+            if (decision instanceof PolicyDecision.CloseIdleConnections close) {
+                beginCall(calls.remove(close.endpoint())); // may still use one of them
+            }
+            execute(decision);
+        }
+        calls.values().forEach(this::beginCall);
+    }
+
+    private void beginCall(List<PolicyDecision.BeginAttempt> call) {
+        if (call != null) {
+            attempts.begin(call);
+        }
+    }
+
     /** Executes one decision; a request that is no longer in flight is passed over. */
     void execute(PolicyDecision decision) {
         if (decision instanceof PolicyDecision.BeginAttempt begin) {
-            ActiveRequest request = dispatcher.request(begin.requestId());
-            if (request != null) {
-                attempts.begin(request, begin.endpoint(), begin.answerBy());
-            }
+            beginCall(List.of(begin));
         } else if (decision instanceof PolicyDecision.CancelAttempt cancel) {
             dispatcher.cancelAttempt(cancel.requestId(), cancel.attempt());
         } else if (decision instanceof PolicyDecision.Complete complete) {
--- a/src/main/java/elderseam/core/DecisionLoop.java
+++ b/src/main/java/elderseam/core/DecisionLoop.java
@@ -36,7 +36,7 @@
         do { // the next tick is known only after the decisions, which may ask for one and do nothing else
             policy.tick(clock.now());
             for (List<PolicyDecision> rest = completeRequests(); !rest.isEmpty(); rest = completeRequests()) {
-                rest.forEach(executor::execute);
+                executor.executeAll(rest);
             }
         } while (policy.nextTick() <= clock.now());
         running = false;
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -275,8 +275,8 @@
     /** Queues what the policy asks for. */
     private final class DecisionRecorder implements PolicyActions {
         @Override
-        public void send(String id, String endpoint, long stopAt) {
-            decisions.add(new PolicyDecision.BeginAttempt(id, endpoint, stopAt));
+        public void send(String id, String endpoint, long stopAt, boolean sharesCall) {
+            decisions.add(new PolicyDecision.BeginAttempt(id, endpoint, stopAt, sharesCall));
         }
 
         @Override
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -13,9 +13,11 @@
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 /** Sends attempts to the platform's endpoints and classifies their responses. Confined to the I/O thread. */
 public final class PlatformAttemptSender implements AttemptSender {
@@ -33,6 +35,14 @@
 
     private static final int LIMIT_FIELD = 1;
 
+    private static final String PATH = "/receive";
+
+    /** Takes several messages in one call. */
+    private static final String BATCH_PATH = "/receive-many";
+
+    /** Of the JSON array of a call with several messages. */
+    private static final int BRACKET_BYTES = 2;
+
     private final IoLoop io;
     private final EndpointConnectionPool connections;
     private final EndpointList endpoints;
@@ -50,6 +60,64 @@
         this.loadReportFields = settings.list("telemetry.fields");
     }
 
+    @Override
+    public List<EndpointCall> sendAll(List<CallEntry> entries, String endpoint, long connectBy, long answerBy) {
+        List<EndpointCall> calls = new ArrayList<>(entries.size());
+        for (List<CallEntry> call : withinSizeLimit(entries)) {
+            CallEntry first = call.get(0);
+            EndpointCall cancel = call.size() == 1
+                    ? send(first.message(), endpoint, connectBy, answerBy, first.listener())
+                    : sendTogether(call, endpoint, connectBy, answerBy);
+            call.forEach(entry -> calls.add(cancel));
+        }
+        return calls;
+    }
+
+    /** The entries in their order, in as few calls as the limit of a body's size allows. */
+    private static List<List<CallEntry>> withinSizeLimit(List<CallEntry> entries) {
+        List<List<CallEntry>> calls = new ArrayList<>(1);
+        int bytes = PlatformFrontend.MAX_BODY_BYTES;
+        for (CallEntry entry : entries) {
+            int entryBytes = BatchCodec.maxBytes(entry.message());
+            bytes += entryBytes;
+            if (bytes > PlatformFrontend.MAX_BODY_BYTES - BRACKET_BYTES) {
+                calls.add(new ArrayList<>(entries.size()));
+                bytes = entryBytes;
+            }
+            calls.get(calls.size() - 1).add(entry);
+        }
+        return calls;
+    }
+
+    private EndpointCall sendTogether(List<CallEntry> call, String endpoint, long connectBy, long answerBy) {
+        Map<String, String> headers = Map.of(PlatformRequestDecoder.REMAINING_HEADER, remaining(answerBy));
+        byte[] body = BatchCodec.encode(call.stream().map(CallEntry::message).toList());
+        return connections.send(
+                endpoints.addressOf(endpoint),
+                new HttpRequest("POST", BATCH_PATH, headers, body),
+                connectBy,
+                answerBy,
+                () -> call.stream().allMatch(entry -> entry.listener().maySend()),
+                () -> call.forEach(entry -> entry.listener().written()),
+                result -> forEachOutcome(call, result, AttemptListener::answeredLate),
+                result -> forEachOutcome(call, result, AttemptListener::ended))::cancel;
+    }
+
+    private void forEachOutcome(
+            List<CallEntry> call, HttpResult result, BiConsumer<AttemptListener, AttemptOutcome> event) {
+        AttemptOutcome whole = classifyBatch(result, loadReportFields);
+        Map<String, Status> states = BatchCodec.states(result);
+        for (CallEntry entry : call) {
+            event.accept(
+                    entry.listener(),
+                    BatchCodec.outcome(result, whole, states, entry.message().id()));
+        }
+    }
+
+    private String remaining(long answerBy) {
+        return Math.max(1, (answerBy - io.clock.now()) / Clock.MILLISECOND_NS) + "m";
+    }
+
     @Override
     public EndpointCall send(
             ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener) {
@@ -58,11 +126,10 @@
         if (!message.idempotencyKey().isEmpty()) {
             headers.put("Idempotency-Key", message.idempotencyKey());
         }
-        long remainingMs = Math.max(1, (answerBy - io.clock.now()) / Clock.MILLISECOND_NS);
-        headers.put(PlatformRequestDecoder.REMAINING_HEADER, remainingMs + "m");
+        headers.put(PlatformRequestDecoder.REMAINING_HEADER, remaining(answerBy));
         return connections.send(
                 endpoints.addressOf(endpoint),
-                new HttpRequest("POST", "/receive", headers, message.body()),
+                new HttpRequest("POST", PATH, headers, message.body()),
                 connectBy,
                 answerBy,
                 listener::maySend,
@@ -87,7 +154,29 @@
                     : AttemptOutcome.unanswered(result.progress(), result.failure());
         }
         Status status = status(result);
-        double retryAfterMs = status == Status.OVERLOADED ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
+        return outcome(result, status, status == Status.OVERLOADED, loadReportFields);
+    }
+
+    /** As {@link #classify}, of a call with several messages, whose answer may hold a wait whatever became of them. */
+    static AttemptOutcome classifyBatch(HttpResult result, List<String> loadReportFields) {
+        if (!result.answered()) {
+            return AttemptOutcome.unanswered(result.progress(), result.failure());
+        }
+        return outcome(result, batchStatus(result), true, loadReportFields);
+    }
+
+    /** What a status says of all messages alike; one that the protocol does not know leaves them as having run, perhaps. */
+    private static Status batchStatus(HttpResult result) {
+        return switch (result.code()) {
+            case 200, 429, 503 -> status(result);
+            case 400, 413 -> Status.OVERLOADED; // not read, or too many messages: none of them has run
+            default -> Status.ERROR;
+        };
+    }
+
+    private static AttemptOutcome outcome(
+            HttpResult result, Status status, boolean mayHoldWait, List<String> loadReportFields) {
+        double retryAfterMs = mayHoldWait ? number(result.header("X-RateLimit-Wait-Ms")) : 0;
         long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MILLISECOND_NS);
         String report = result.header(LOAD_REPORT_HEADER);
         double shareLeft = reportedNumber(report, loadReportFields, SHARE_LEFT_FIELD);
--- a/src/main/java/elderseam/policy/PolicyActions.java
+++ b/src/main/java/elderseam/policy/PolicyActions.java
@@ -2,8 +2,12 @@
 
 /** What a policy asks of its host, which carries it out in order, at the time of the event. */
 public interface PolicyActions {
-    /** Starts the next attempt of a request; those of one turn at one endpoint share calls as the batch allows. */
-    void send(String id, String endpoint, long stopAt);
+    /**
+     * Starts the next attempt of a request.
+     *
+     * @param sharesCall it is part of the same call as the attempt that was started last at that endpoint, in this turn
+     */
+    void send(String id, String endpoint, long stopAt, boolean sharesCall);
 
     /** Stops waiting for an attempt, counted from 0; it ends as CANCELLED or as it was about to. */
     void cancel(String id, int attempt);
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -113,7 +113,8 @@
     }
 
     private void start(PendingRequest request, EndpointState endpoint, long now) {
-        if (!selector.joinsBatch(endpoint)) {
+        boolean sharesCall = selector.joinsBatch(endpoint);
+        if (!sharesCall) {
             AttemptRecord call = new AttemptRecord(endpoint, now, context.turn);
             connections.beforeCall(call);
             selector.onCall(endpoint, now);
@@ -121,6 +122,6 @@
         }
         retryPolicy.onAttempt(request, now);
         context.requests.startAttempt(request, endpoint.batch);
-        context.actions.send(request.message.id(), endpoint.address, request.message.deadline());
+        context.actions.send(request.message.id(), endpoint.address, request.message.deadline(), sharesCall);
     }
 }
--- a/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedDispatcher.java
@@ -166,7 +166,7 @@
     // ---------------------------------------------------------------- actions of the policy
 
     @Override
-    public void send(String id, String endpoint, long stopAt) {
+    public void send(String id, String endpoint, long stopAt, boolean sharesCall) {
         PendingMessage message = pending.get(id);
         long now = time.now();
         if (!mayCall(message, now)) {
--- a/src/main/java/elderseam/testkit/simulator/HostedPolicy.java
+++ b/src/main/java/elderseam/testkit/simulator/HostedPolicy.java
@@ -75,7 +75,7 @@
     }
 
     @Override
-    public void send(String requestId, String endpoint, long stopAtNanos) {
+    public void send(String requestId, String endpoint, long stopAtNanos, boolean sharesCall) {
         StringBuilder line = line("FORWARD");
         line.append(' ').append(requestId);
         line.append(' ').append(endpoint);
--- a/src/test/java/elderseam/policy/EmbeddingTest.java
+++ b/src/test/java/elderseam/policy/EmbeddingTest.java
@@ -15,7 +15,7 @@
     private final List<String> done = new ArrayList<>();
     private final PolicyActions host = new PolicyActions() {
         @Override
-        public void send(String id, String endpoint, long stopAt) {
+        public void send(String id, String endpoint, long stopAt, boolean sharesCall) {
             done.add("send " + id + " " + endpoint + " " + stopAt);
         }
 
--- a/src/test/java/elderseam/policy/PolicyParts.java
+++ b/src/test/java/elderseam/policy/PolicyParts.java
@@ -88,7 +88,7 @@
     }
 
     @Override
-    public void send(String id, String address, long stopAt) {
+    public void send(String id, String address, long stopAt, boolean sharesCall) {
         actions.add("send " + id + " " + address);
     }
 
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -282,7 +282,7 @@
     }
 
     @Override
-    public void send(String id, String address, long stopAt) {
+    public void send(String id, String address, long stopAt, boolean sharesCall) {
         trace.add(now + " send " + id + " " + address);
         SubmittedRequest entry = requests.get(id);
         assertNotNull(entry, "unknown request");
