The policy says who shares a call; a request with little time left goes alone

Change: EndpointSelector decides who may share, by the time left; the core only splits front ends apart.

--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -78,7 +78,7 @@
                 start(request, begin).ifPresent(started::add);
             }
         }
-        CallSplitter.split(started, clock.now()).forEach(this::send);
+        CallSplitter.split(started).forEach(this::send);
     }
 
     /** Records an attempt; empty where it can't be sent. */
--- a/src/main/java/elderseam/policy/EndpointSelector.java
+++ b/src/main/java/elderseam/policy/EndpointSelector.java
@@ -18,6 +18,7 @@
     private static final int SAFE_TRIAL_GAIN = 1000; // a half-open breaker, and a request that may be repeated
     // times
     private static final double MIN_LATENCIES_BEFORE_CLOSE = 3; // expected ones left for a call as the process ends
+    private static final double MIN_LATENCIES_TO_SHARE = 4; // expected ones left for a request that shares a call
     private static final double MAX_COLD_GAP_NS = 1e9; // between two calls to a cold endpoint
 
     private final PolicyContext context;
@@ -59,13 +60,23 @@
         }
     }
 
-    /** Whether a request may share the call that began there in this turn. */
-    boolean joinsBatch(EndpointState endpoint) {
+    /**
+     * Whether a request may share the call that began there in this turn. A host gives a call up when the first of its
+     * requests must be answered, so one whose time is nearly up goes alone.
+     */
+    boolean joinsBatch(EndpointState endpoint, PendingRequest request) {
         AttemptRecord batch = endpoint.batch;
         return batch != null
                 && batch.turn == context.turn
                 && batch.requests.size() < endpoint.destination.kind.batch()
-                && endpoint.group.breaker.trial != batch;
+                && endpoint.group.breaker.trial != batch
+                && hasTimeToShare(request, endpoint)
+                && hasTimeToShare(batch.requests.get(0), endpoint);
+    }
+
+    private boolean hasTimeToShare(PendingRequest request, EndpointState endpoint) {
+        double remainingNs = request.message.deadline() - context.now;
+        return remainingNs >= MIN_LATENCIES_TO_SHARE * endpoint.group.latency.expectedNs();
     }
 
     /** The endpoint for the next attempt, or null where none may be called now. */
@@ -80,7 +91,7 @@
             if (!isEligible(endpoint, request, now)) {
                 continue;
             }
-            boolean joins = joinsBatch(endpoint);
+            boolean joins = joinsBatch(endpoint, request);
             if (!joins && (full || !hasTicket(endpoint, now))) {
                 context.decideAt(endpoint.nextColdCallAt);
                 continue;
--- a/src/main/java/elderseam/policy/RequestScheduler.java
+++ b/src/main/java/elderseam/policy/RequestScheduler.java
@@ -113,7 +113,7 @@
     }
 
     private void start(PendingRequest request, EndpointState endpoint, long now) {
-        boolean sharesCall = selector.joinsBatch(endpoint);
+        boolean sharesCall = selector.joinsBatch(endpoint, request);
         if (!sharesCall) {
             AttemptRecord call = new AttemptRecord(endpoint, now, context.turn);
             connections.beforeCall(call);
--- a/src/test/java/elderseam/policy/PolicyTestHarness.java
+++ b/src/test/java/elderseam/policy/PolicyTestHarness.java
@@ -46,6 +46,8 @@
     private final Map<Long, Long> keyRestsUntil = new HashMap<>();
     final TreeMap<Long, List<Long>> timers = new TreeMap<>();
     private final List<Cancellation> cancellations = new ArrayList<>();
+    /** Of each attempt so far, whether it shares a call. */
+    final List<Boolean> sharedCalls = new ArrayList<>();
     /** Each action as a line that begins with its time. */
     final List<String> trace = new ArrayList<>();
 
@@ -284,6 +286,7 @@
     @Override
     public void send(String id, String address, long stopAt, boolean sharesCall) {
         trace.add(now + " send " + id + " " + address);
+        sharedCalls.add(sharesCall);
         SubmittedRequest entry = requests.get(id);
         assertNotNull(entry, "unknown request");
         assertEquals(null, entry.outcome, "sent after its final outcome");
