--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -89,6 +89,19 @@
         assertTrue(Math.abs(a.message.deadline() - clock.now() - 60 * SECOND) < 20 * SECOND, "deadline");
     }
 
+    /** The end of an attempt before a kill is never known, whatever became of the attempts after it. */
+    @Test
+    void anAttemptThatWasNeverSeenToEndMayHaveRun() throws IOException {
+        journal.accepted(message("a", 100, 60));
+        journal.attemptBegins("a");
+        reopen(); // as after a kill
+        assertTrue(journal.unfinished(Set.of()).get(0).mayHaveRun);
+        journal.attemptBegins("a");
+        journal.attemptEnded("a", false);
+        reopen();
+        assertTrue(journal.unfinished(Set.of()).get(0).mayHaveRun);
+    }
+
     /** An outcome that is owed is given back until notified; a rejection is then forgotten, others are not. */
     @Test
     void outcomesAreOwedUntilNotified() throws IOException {
