--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint format style run figures bench engines fuzz long
+.PHONY: build test lint format style run figures bench engines fuzz long order
 
 build:
 	mvn -q -B -DskipTests package
@@ -46,3 +46,9 @@
 # The differential test with 100,000 cases instead of 2,000.
 long:
 	mvn -q -B test -Dtest=DifferentialTest -Drules.cases=100000
+
+# Runs of the order trial with faults from the seeds FIRST to LAST; some 15 s each.
+FIRST = 1
+LAST = 50
+order: build
+	java -cp target/classes:$$(ls target/lib/*.jar | tr '\n' ':') elderseam.testkit.ordering.OrderSoak $(FIRST) $(LAST)
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -44,7 +44,7 @@
     public static OrderTrial.Result play(Path folder, long seed) throws IOException, InterruptedException {
         SplittableRandom random = new SplittableRandom(seed);
         int keys = random.nextInt(3, 13);
-        int maxPauseMs = random.nextInt(10, 300);
+        int maxPauseMs = random.nextInt(20, 800);
         int minRemainingMs = random.nextInt(300, 3_000);
         OrderTrial.Load load = new OrderTrial.Load(keys, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
         OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
@@ -52,7 +52,7 @@
                 random.nextInt(1, 40),
                 random.nextInt(40, 250),
                 random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3,
-                random.nextInt(1, 600),
+                random.nextInt(1, 300),
                 random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2);
         return OrderTrial.play(folder, seed, load, surroundings, actions(seed));
     }
--- a/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
+++ b/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Messages of an ordering key go out one at a time, in the order in which they were handed in. */
 class OrderTrialTest {
@@ -61,4 +63,14 @@
         int mostInFlight = 2 * SIX_MESSAGES_OF_FOUR_KEYS.keys(); // one of each key at either kill
         assertTrue(result.delivered() >= result.accepted() - mostInFlight, result.toString());
     }
+
+    /** The soak, short: load, surroundings and signals drawn from the seed. */
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102, 103, 104})
+    void seededRuns(long seed) throws Exception {
+        OrderTrial.Result result = OrderSoak.play(folder, seed);
+        System.out.println("seed " + seed + " " + OrderSoak.actions(seed) + ": " + result);
+        assertEquals(List.of(), result.violations().stream().limit(5).toList());
+        assertTrue(result.accepted() > 0, "nothing was accepted");
+    }
 }
