--- a/src/test/java/elderseam/core/JournalTest.java
+++ b/src/test/java/elderseam/core/JournalTest.java
@@ -89,6 +89,40 @@
         assertTrue(Math.abs(a.message.deadline() - clock.now() - 60 * SECOND) < 20 * SECOND, "deadline");
     }
 
+    /** A compaction may come between any two records: the keys of a message must not stand apart from it. */
+    @Test
+    void aCompactionWhileAMessageIsAcceptedLosesNoKey() throws IOException {
+        int compactions = 0;
+        for (int i = 0; i < 4_000; i++) {
+            long until = clock.now() + 60 * SECOND;
+            ActiveRequest.Message message = new ActiveRequest.Message(
+                    "m" + i,
+                    (byte) 0,
+                    1,
+                    2,
+                    7,
+                    until,
+                    until,
+                    false,
+                    false,
+                    "",
+                    new byte[i % 7 == 0 ? 3_000 : 200],
+                    "s:" + i,
+                    "k" + i);
+            long before = Files.size(folder.resolve("journal"));
+            assertTrue(journal.accepted(message));
+            if (Files.size(folder.resolve("journal")) < before) {
+                compactions++;
+                reopen();
+                ActiveRequest.Message read = journal.unfinished(Set.of()).get(0).message;
+                assertEquals("k" + i, read.orderKey());
+                assertEquals("s:" + i, read.deduplicationKey());
+            }
+            journal.completed(message, FinalOutcome.rejected(1), false);
+        }
+        assertTrue(compactions > 10, compactions + " compactions");
+    }
+
     /** The end of an attempt before a kill is never known, whatever became of the attempts after it. */
     @Test
     void anAttemptThatWasNeverSeenToEndMayHaveRun() throws IOException {
