--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -1,5 +1,6 @@
 package elderseam.core;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -54,26 +55,27 @@
         byte[] key = message.hasDeduplicationKey()
                 ? JournalRecordEncoder.deduplicationKey(message.id(), message.deduplicationKey())
                 : NO_RECORD;
-        byte[] orderKey = orderKeyRecord(message);
-        int bytes = record.length + key.length + orderKey.length;
-        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES)
-                || !appendIfAny(key)
-                || !appendIfAny(orderKey)
-                || !log.append(record)) {
+        byte[] records = joined(key, orderKeyRecord(message), record);
+        if (!hasCapacity(records.length + JournalEntry.RESERVED_BYTES) || !log.append(records)) {
             return false;
         }
         index.deduplicationKey(message.id(), message.deduplicationKey());
         index.orderKey(message.id(), message.orderKey());
-        index.accepted(message, bytes);
+        index.accepted(message, records.length);
         return true;
     }
 
-    private static byte[] orderKeyRecord(ActiveRequest.Message message) {
-        return message.isOrdered() ? JournalRecordEncoder.orderKey(message.id(), message.orderKey()) : NO_RECORD;
+    /** Records that are appended at once: a compaction between them would drop those that the index does not hold yet. */
+    private static byte[] joined(byte[]... records) {
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        for (byte[] record : records) {
+            joined.writeBytes(record);
+        }
+        return joined.toByteArray();
     }
 
-    private boolean appendIfAny(byte[] record) {
-        return record.length == 0 || log.append(record);
+    private static byte[] orderKeyRecord(ActiveRequest.Message message) {
+        return message.isOrdered() ? JournalRecordEncoder.orderKey(message.id(), message.orderKey()) : NO_RECORD;
     }
 
     /**
@@ -83,13 +85,12 @@
     public boolean acceptedDuplicate(ActiveRequest.Message message) {
         byte[] record = JournalRecordEncoder.acceptedDuplicate(
                 message, clock.toSteady(message.deadline()), clock.toSteady(message.rememberUntil()));
-        byte[] orderKey = orderKeyRecord(message);
-        int bytes = record.length + orderKey.length;
-        if (!hasCapacity(bytes + JournalEntry.RESERVED_BYTES) || !appendIfAny(orderKey) || !log.append(record)) {
+        byte[] records = joined(orderKeyRecord(message), record);
+        if (!hasCapacity(records.length + JournalEntry.RESERVED_BYTES) || !log.append(records)) {
             return false;
         }
         index.orderKey(message.id(), message.orderKey());
-        index.acceptedDuplicate(message, bytes);
+        index.acceptedDuplicate(message, records.length);
         return true;
     }
 
--- a/src/main/java/elderseam/core/JournalLog.java
+++ b/src/main/java/elderseam/core/JournalLog.java
@@ -40,7 +40,7 @@
     }
 
     /**
-     * Appends a record; false where there is no capacity, another process writes, or the store failed, which is
+     * Appends a record, or several that belong together; false where there is no capacity, another process writes, or the store failed, which is
      * logged.
      */
     boolean append(byte[] record) {
