Order trial: a message is late by the protocol's own terms

Change: no message is overdue from a signal until 1.5 s after readiness, as the protocol says, and else 300 ms (and half a second for a busy machine) after its time; an end counts when its notification comes.

--- a/src/main/java/elderseam/testkit/ordering/OrderChecker.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderChecker.java
@@ -15,22 +15,25 @@
  */
 final class OrderChecker {
     private static final long MILLISECOND_NS = 1_000_000;
-    /** How late after its deadline a message may be over; restarts add the second and a half after readiness. */
+    /** How late after its deadline a message may end. */
     private static final long LATENESS_NS = 300 * MILLISECOND_NS;
 
+    /** Besides, how long a machine that has other work may keep the dispatcher or this test from running. */
+    private static final long BUSY_MACHINE_NS = 500 * MILLISECOND_NS;
+
     private final long keyRestNs;
-    private final long restartGraceNs;
+    private final RestartWindows restarts;
     private final long origin;
     private final List<String> violations = new ArrayList<>();
 
     /**
      * @param keyRestNs how long a key rests after a call of unknown end
-     * @param restartGraceNs how much later a message may be over where processes were restarted
+     * @param restarts in which no message is overdue
      * @param origin the time that reports count from
      */
-    OrderChecker(long keyRestNs, long restartGraceNs, long origin) {
+    OrderChecker(long keyRestNs, RestartWindows restarts, long origin) {
         this.keyRestNs = keyRestNs;
-        this.restartGraceNs = restartGraceNs;
+        this.restarts = restarts;
         this.origin = origin;
     }
 
@@ -75,8 +78,8 @@
     }
 
     private void checkEnd(Message message) {
-        if (message.overAt() > message.deadline + LATENESS_NS + restartGraceNs) {
-            report("lost", message, message.deadline, "not over in time: " + state(message));
+        if (message.endedAt() > restarts.overdueAt(message.deadline + LATENESS_NS) + BUSY_MACHINE_NS) {
+            report("lost", message, message.deadline, "no end in time: " + state(message));
         }
         long mayHaveRun = message.calls.stream()
                 .filter(call -> call.how == null || call.how.mayHaveRun)
--- a/src/main/java/elderseam/testkit/ordering/OrderHistory.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderHistory.java
@@ -57,6 +57,9 @@
         boolean accepted;
 
         long notifiedAt = NEVER;
+        /** When the platform got its first notification, whenever it answered that. */
+        long notificationAt = NEVER;
+
         final List<Call> calls = new ArrayList<>();
 
         Message(String id, String key, long deadline, boolean once) {
@@ -66,6 +69,11 @@
             this.once = once;
         }
 
+        /** When it was delivered, or its notification came. */
+        long endedAt() {
+            return Math.min(overAt(), notificationAt);
+        }
+
         /** When it was over: delivered, or its notification answered. */
         long overAt() {
             long over = notifiedAt;
@@ -112,6 +120,14 @@
         call.how = how;
     }
 
+    /** A notification of the message has come to the platform. */
+    synchronized void notificationCame(String id) {
+        Message message = byId.get(id);
+        if (message != null) {
+            message.notificationAt = Math.min(message.notificationAt, System.nanoTime());
+        }
+    }
+
     /** A notification of the message is about to be answered. */
     synchronized void notified(String id) {
         Message message = byId.get(id);
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -23,7 +23,10 @@
     private static final long TERM_GRACE_MS = 3_700;
 
     private static final long KEY_REST_MS = 100;
-    private static final long RESTART_GRACE_MS = 4_000;
+    /** No notification is overdue until so long after a process is ready. */
+    private static final long READY_GRACE_MS = 1_500;
+
+    private static final long SETTLE_MS = 8_000;
     private static final int HANDOVER_LIMIT_MS = 12_000;
     private static final int MAX_DOWN_MS = 700;
     private static final int MAX_PAUSE_MS = 600;
@@ -101,6 +104,7 @@
     private final Optional<SteppedClock> clock;
     private final Path settingsFile;
     private final long start = System.nanoTime();
+    private final RestartWindows restarts = new RestartWindows();
     private ServedProcess process;
 
     private OrderTrial(Path folder, long seed, Surroundings surroundings) throws IOException, InterruptedException {
@@ -190,8 +194,7 @@
                 trial.clients.forEach(OrderedClient::stop);
             }
             trial.finish(load);
-            long graceMs = actions.isEmpty() ? 0 : RESTART_GRACE_MS;
-            return trial.result(graceMs);
+            return trial.result();
         }
     }
 
@@ -212,6 +215,15 @@
     }
 
     private void carryOut(Action action) throws IOException, InterruptedException {
+        long signalled = System.nanoTime();
+        boolean restarted = doTo(action);
+        if (restarted || action == Action.PAUSE || action == Action.HAND_OVER) {
+            restarts.add(signalled, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_GRACE_MS));
+        }
+    }
+
+    /** Does it; whether the process ended and another one was started. */
+    private boolean doTo(Action action) throws IOException, InterruptedException {
         switch (action) {
             case KILL -> process.kill();
             case TERMINATE -> {
@@ -232,11 +244,13 @@
             case STEP_CLOCK_BACK -> stepClock(-HOUR_S);
             case STEP_CLOCK_BY_SECONDS -> stepClock(random.nextInt(-MAX_SMALL_STEP_S, MAX_SMALL_STEP_S + 1));
         }
-        if (!process.isAlive()) {
-            Thread.sleep(random.nextInt(1, MAX_DOWN_MS));
-            process = startProcess();
-            ServedProcess.awaitReady(dispatcherAddress);
+        if (process.isAlive()) {
+            return false;
         }
+        Thread.sleep(random.nextInt(1, MAX_DOWN_MS));
+        process = startProcess();
+        ServedProcess.awaitReady(dispatcherAddress);
+        return true;
     }
 
     private void handOver() throws IOException, InterruptedException {
@@ -269,16 +283,15 @@
         for (Thread thread : clientThreads) {
             thread.join();
         }
-        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(load.maxRemainingMs() + 2 * RESTART_GRACE_MS);
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(load.maxRemainingMs() + SETTLE_MS);
         while (!history.isSettled() && System.nanoTime() < deadline) {
             Thread.sleep(50);
         }
         Thread.sleep(300); // calls and notifications that should not come any more
     }
 
-    private Result result(long graceMs) {
-        OrderChecker checker = new OrderChecker(
-                TimeUnit.MILLISECONDS.toNanos(KEY_REST_MS), TimeUnit.MILLISECONDS.toNanos(graceMs), start);
+    private Result result() {
+        OrderChecker checker = new OrderChecker(TimeUnit.MILLISECONDS.toNanos(KEY_REST_MS), restarts, start);
         Map<String, Integer> counts = new HashMap<>();
         history.messagesByKey()
                 .values()
--- a/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.util.List;
 import java.util.SplittableRandom;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Discovery with one list for the whole run, and the platform that takes notifications, late and sometimes not at all. */
@@ -59,6 +59,8 @@
     }
 
     private void answerNotifications(HttpConnection connection, HttpConnection.Message request) throws IOException {
+        List<String> ids = ids(request.body());
+        ids.forEach(history::notificationCame);
         if (connection.endsWithin(nextDelayMs())) {
             throw new IOException("the dispatcher gave up");
         }
@@ -66,13 +68,14 @@
             connection.answer(503, "", "");
             return;
         }
-        Matcher id = MESSAGE_ID.matcher(request.body());
-        while (id.find()) {
-            history.notified(id.group(1));
-        }
+        ids.forEach(history::notified);
         connection.write("HTTP/1.1 204 x\r\n\r\n");
     }
 
+    private static List<String> ids(String body) {
+        return MESSAGE_ID.matcher(body).results().map(id -> id.group(1)).toList();
+    }
+
     private synchronized long nextDelayMs() {
         return random.nextInt(1, maxDelayMs + 1);
     }
--- /dev/null
+++ b/src/main/java/elderseam/testkit/ordering/RestartWindows.java
@@ -0,0 +1,30 @@
+package elderseam.testkit.ordering;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The times in which no notification is overdue: from the signal that ends or stops a process until some time after the next
+ * one is ready, or the same one goes on. Confined to one thread until the run is over.
+ */
+final class RestartWindows {
+    private record Window(long start, long end) {}
+
+    private final List<Window> windows = new ArrayList<>();
+
+    /** No notification is overdue between these times; windows come in the order of their starts. */
+    void add(long start, long end) {
+        windows.add(new Window(start, end));
+    }
+
+    /** When something is overdue that would be at that time if no window held it up. */
+    long overdueAt(long time) {
+        long overdue = time;
+        for (Window window : windows) {
+            if (window.start <= overdue && overdue < window.end) {
+                overdue = window.end;
+            }
+        }
+        return overdue;
+    }
+}
