--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -8,6 +8,7 @@
 import elderseam.core.Clock;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.ClockDriftBound;
+import elderseam.fleet.lease.FollowerRefusals;
 import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseGroupConfiguration;
 import elderseam.fleet.lease.LeaseRenewer;
@@ -275,6 +276,18 @@
             LOG.info("lease.leader_changed", field("leader", newLeader));
         }
 
+        @Override
+        public void followerRefused(FollowerRefusals.Refusal refusal) {
+            LOG.warn(
+                    "lease.follower_refuses",
+                    field("follower", refusal.follower()),
+                    field("refusals", refusal.refusals()),
+                    field("previous", refusal.previous()),
+                    field("entries", refusal.entries()),
+                    field("commit", refusal.leaderCommit()),
+                    field("next", refusal.nextIndex()));
+        }
+
         @Override
         public void versionsChanged() {
             if (versions != null) {
@@ -325,7 +338,8 @@
             return changeMembers(startedGroup, command.members());
         }
         try {
-            return CommandResult.accepted("fleet", status(startedGroup));
+            return CommandResult.accepted(
+                    "fleet", FleetStatus.lines(startedGroup, leader, leaseNames(), this::lease, clock.now()));
         } catch (IOException e) {
             return CommandResult.rejected("the fleet's engine: " + e.getMessage());
         }
@@ -346,24 +360,6 @@
         }
     }
 
-    private List<String> status(LeaseGroup startedGroup) throws IOException {
-        List<String> lines = new ArrayList<>();
-        lines.add("self=" + startedGroup.holderId());
-        lines.add("leader=" + leader);
-        lines.add("members=" + String.join(" ", startedGroup.memberNames()));
-        for (String name : leaseNames()) {
-            Optional<LeaseValidity> held = lease(name);
-            String state = "not held";
-            if (held.isPresent()) {
-                long remainingMs = (held.get().expiresAtNs() - clock.now()) / Clock.MILLISECOND_NS;
-                state = "held token " + held.get().token() + " for " + remainingMs + " ms";
-            }
-            lines.add("lease." + name + "=" + state);
-        }
-        lines.add("EOF");
-        return lines;
-    }
-
     /** Gives back what it holds, and leaves the group, on a thread of its own. */
     void leave() {
         left = true;
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -111,6 +111,16 @@
                 .toList();
     }
 
+    /** How this member stands in the log, in words: its role and term, what is committed and what is applied here. */
+    public String engineState() throws IOException {
+        RaftServer.Division division =
+                server.getDivision(server.getGroupIds().iterator().next());
+        return division.getInfo().getCurrentRole()
+                + " term " + division.getInfo().getCurrentTerm()
+                + " commit " + division.getRaftLog().getLastCommittedIndex()
+                + " applied " + division.getInfo().getLastAppliedIndex();
+    }
+
     static RaftGroup raftGroup(String groupName, Map<String, InetSocketAddress> members) {
         byte[] nameBytes = (GROUP_ID_PREFIX + groupName).getBytes(StandardCharsets.UTF_8);
         return RaftGroup.valueOf(RaftGroupId.valueOf(UUID.nameUUIDFromBytes(nameBytes)), raftPeers(members));
--- a/src/main/java/elderseam/fleet/lease/LeaseRpc.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRpc.java
@@ -1,5 +1,6 @@
 package elderseam.fleet.lease;
 
+import java.io.IOException;
 import java.util.Collection;
 import org.apache.ratis.client.ClientFactory;
 import org.apache.ratis.client.RaftClientRpc;
@@ -9,6 +10,7 @@
 import org.apache.ratis.proto.RaftProtos.CommitInfoProto;
 import org.apache.ratis.protocol.ClientId;
 import org.apache.ratis.protocol.RaftGroup;
+import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftGroupMemberId;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
@@ -61,7 +63,18 @@
 
         @Override
         public RaftServerRpc newRaftServerRpc(RaftServer server) {
-            return new LeaseServerRpc(netty.newRaftServerRpc(server));
+            return new LeaseServerRpc(
+                    netty.newRaftServerRpc(server), new FollowerRefusals(refusal -> report(server, refusal)));
+        }
+
+        private static void report(RaftServer server, FollowerRefusals.Refusal refusal) {
+            try {
+                for (RaftGroupId group : server.getGroupIds()) {
+                    ((LeaseStateMachine) server.getDivision(group).getStateMachine()).followerRefused(refusal);
+                }
+            } catch (IOException e) {
+                // The server has left its group, and so leads nobody.
+            }
         }
 
         @Override
--- a/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
@@ -67,6 +67,9 @@
         /** The holder of a lease has given it back before it expired. */
         default void released(String lease) {}
 
+        /** This member leads, and a follower answers but has refused its entries again and again. */
+        default void followerRefused(FollowerRefusals.Refusal refusal) {}
+
         /** A version was proposed, committed or refused. */
         default void versionsChanged() {}
     }
@@ -223,6 +226,11 @@
         return outcome;
     }
 
+    /** Passes on what this member sees as the leader. Any thread may call this. */
+    void followerRefused(FollowerRefusals.Refusal refusal) {
+        listener.followerRefused(refusal);
+    }
+
     /** Returns the versions as this member has applied them. Any thread may call this. */
     public VersionView versions() {
         synchronized (lock) {
--- a/src/test/java/elderseam/fleet/lease/FormerLeaderTest.java
+++ b/src/test/java/elderseam/fleet/lease/FormerLeaderTest.java
@@ -103,7 +103,7 @@
                 .setOption(RaftStorage.StartupOption.FORMAT)
                 .build();
         member.start();
-        leaderSide = new LeaseServerRpc(deliverTo(member));
+        leaderSide = new LeaseServerRpc(deliverTo(member), new FollowerRefusals(refusal -> {}));
     }
 
     @AfterEach
