What may have run is not rejected, so no keyed message takes effect twice

Cause: RetryPolicy.mayReject let a keyed message go that may have run, since clients come back only inside the window; whoever takes it next knows nothing of that window and holds it past its end. Mend: only what has surely not run, or is safe to repeat, is rejected; the rest is retried by the dispatcher that knows the window, or fails. So a message handed in after a rejection never ran.

--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -21,7 +21,7 @@
      * @param rememberUntil until when the final outcome is remembered
      * @param resubmitted whether the client has submitted it before
      * @param retriesWithinKeyWindow whether a rejected client comes back only while a repeat would still be
-     *     deduplicated
+     *     deduplicated; stored and handed over, and no decision relies on it
      * @param idempotencyKey the client's key, forwarded unread; may be empty
      * @param body forwarded unread
      * @param deduplicationKey by an operator's rule, messages with the same key are one message; begins with the name
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -86,8 +86,7 @@
                 OrderKeyHash.of(message.orderKey()),
                 message.deadline(),
                 message.destination(),
-                message.resubmitted(),
-                message.retriesWithinKeyWindow());
+                message.resubmitted());
     }
 
     /** An accepted message that has an ordering key, and that the policy does not hold, takes the last place there. */
--- a/src/main/java/elderseam/policy/PolicyRequest.java
+++ b/src/main/java/elderseam/policy/PolicyRequest.java
@@ -8,20 +8,6 @@
  * @param orderKey its ordering key; -1 where it has none
  * @param deadline time of the clock after which delivery is worth nothing
  * @param repeated it was handed in before, here or to another sender, so some of its time is gone
- * @param heedsWindow after a rejection its client brings a keyed one again only while the key is known
  */
 public record PolicyRequest(
-        String id,
-        int requestClass,
-        int tenant,
-        long orderKey,
-        long deadline,
-        long destination,
-        boolean repeated,
-        boolean heedsWindow) {
-    /** A request whose client heeds the window of its key. */
-    public PolicyRequest(
-            String id, int requestClass, int tenant, long orderKey, long deadline, long destination, boolean repeated) {
-        this(id, requestClass, tenant, orderKey, deadline, destination, repeated, true);
-    }
-}
+        String id, int requestClass, int tenant, long orderKey, long deadline, long destination, boolean repeated) {}
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -35,10 +35,12 @@
         return ready && now >= endpoint.group.rate.retryAfterUntil && mayAttempt(request, endpoint.zone, now);
     }
 
-    /** Whether a rejection is truthful: no effect, or none that the client's next request would repeat. */
+    /**
+     * Whether a rejection is truthful: handing the request in again is harmless. A keyed request that may have run is
+     * not rejected: whoever takes it next does not know when its key's window began, and may hold it past its end.
+     */
     static boolean mayReject(PendingRequest request) {
-        boolean keyHolds = request.isKeyed() && !request.requestClass.keyPerZone() && request.message.heedsWindow();
-        return request.inFlight.isEmpty() && (!request.mayHaveRun || request.isSafe() || keyHolds);
+        return request.inFlight.isEmpty() && (!request.mayHaveRun || request.isSafe());
     }
 
     /** A first attempt adds to the destination's retry budget. */
--- a/src/test/java/elderseam/policy/RetryPolicyTest.java
+++ b/src/test/java/elderseam/policy/RetryPolicyTest.java
@@ -44,6 +44,17 @@
         assertFalse(RetryPolicy.mayReject(request), "the client's next request may go to another zone");
     }
 
+    /** Nor in its window: whoever takes it next does not know when that began. */
+    @Test
+    void aKeyedRequestThatMayHaveRunIsNotRejectedWhateverItsScope() {
+        PolicyParts oneScope = new PolicyParts(PolicyTestHarness.settings(8, new DestinationKind(false, 1), false));
+        PendingRequest request = oneScope.request(1);
+        assertTrue(RetryPolicy.mayReject(request), "it has not been sent");
+        request.attempts = 1;
+        policy.onEnded(request, parts.call(NOW), AttemptResult.TIMEOUT, NOW);
+        assertFalse(RetryPolicy.mayReject(request));
+    }
+
     @Test
     void anUnsafeRequestThatMayHaveRunIsNeitherAttemptedNorRejected() {
         PendingRequest request = after(2, AttemptResult.TIMEOUT);
