Waits have a bound, and no exception ends a task that runs at intervals

Cause: the class of the fault before: a wait without a limit on another part, a timer chain that an exception ends, a loop that fails in silence.

--- a/src/main/java/elderseam/app/FleetStatus.java
+++ b/src/main/java/elderseam/app/FleetStatus.java
@@ -31,6 +31,7 @@
         lines.add("self=" + group.holderId());
         lines.add("leader=" + leader);
         lines.add("engine=" + group.engineState());
+        lines.add("timed_out=" + group.timedOutRequests());
         lines.add("members=" + String.join(" ", group.memberNames()));
         for (String name : leaseNames) {
             String state = held.apply(name)
--- a/src/main/java/elderseam/app/GracefulShutdown.java
+++ b/src/main/java/elderseam/app/GracefulShutdown.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.core.Lifecycle;
 import elderseam.core.RequestDispatcher;
@@ -7,6 +9,7 @@
 import elderseam.http.IoLoop;
 import elderseam.logging.EventLogger;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What follows SIGTERM: new requests are answered for a moment yet, what is in flight settles, clients are
@@ -30,6 +33,9 @@
 
     private static final long DISCONNECT_OVERRUN_NS = 200 * Clock.MILLISECOND_NS;
 
+    /** The process exits by then, whatever became of the steps. */
+    private static final long EXIT_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
+
     /** How often it looks whether a step is done. */
     static final long POLL_INTERVAL_NS = 20 * Clock.MILLISECOND_NS;
 
@@ -71,7 +77,9 @@
     void await() {
         io.run(this::begin);
         try {
-            done.await();
+            if (!done.await(EXIT_LIMIT_NS, TimeUnit.NANOSECONDS)) {
+                LOG.error("shutdown.limit_reached", field("limit_ms", EXIT_LIMIT_NS / Clock.MILLISECOND_NS));
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -6,6 +6,7 @@
 import elderseam.control.CommandResult;
 import elderseam.control.OperatorCommand;
 import elderseam.core.Clock;
+import elderseam.core.PeriodicTask;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.ClockDriftBound;
 import elderseam.fleet.lease.FollowerRefusals;
@@ -118,7 +119,7 @@
                 ? new VersionService(io, settings, stateDirectory, tasks.versionReader(), history)
                 : null;
         if (discoveryWatch != null || recoveryProbe != null) {
-            io.at(clock.now() + TASK_CHECK_INTERVAL_NS, this::checkTasks);
+            io.repeat(TASK_CHECK_INTERVAL_NS, this::checkTasks);
         }
         startThread("fleet-start", this::start);
     }
@@ -129,9 +130,9 @@
         thread.start();
     }
 
-    private void checkTasks() {
+    private long checkTasks() {
         if (left) {
-            return;
+            return PeriodicTask.NEVER;
         }
         if (discoveryWatch != null) {
             discoveryWatch.check();
@@ -139,7 +140,7 @@
         if (recoveryProbe != null) {
             recoveryProbe.check();
         }
-        io.at(clock.now() + TASK_CHECK_INTERVAL_NS, this::checkTasks);
+        return clock.now() + TASK_CHECK_INTERVAL_NS;
     }
 
     // ---------------------------------------------------------------- for the tasks, on any thread
@@ -288,6 +289,11 @@
                     field("next", refusal.nextIndex()));
         }
 
+        @Override
+        public void requestTimedOut(long limitMs, long count) {
+            LOG.warn("lease.request_timed_out", field("limit_ms", limitMs), field("count", count));
+        }
+
         @Override
         public void versionsChanged() {
             if (versions != null) {
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.core.Clock;
 import elderseam.frontend.platform.PlatformConfiguration;
 import elderseam.handover.HandoverChannel;
@@ -12,6 +14,8 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
 
 /**
  * How a starting process comes to own the state directory: at once where nobody does, or from an older process that
@@ -38,6 +42,11 @@
 
     private static final long SEARCH_INTERVAL_MS = 20;
 
+    /** An older process that answers nothing for so long is not waited for; it transfers its work in well under a second. */
+    private static final long ANSWER_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
+
+    private static final long WARM_UP_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
+
     /** The older process released the lock before it sent its state, so this is for a slow machine alone. */
     private static final long LOCK_LIMIT_NS = 500 * Clock.MILLISECOND_NS;
 
@@ -97,7 +106,9 @@
         if (receiver.onWarmedUp() == HandoverReceiver.Action.REQUEST) {
             channel.send(new HandoverFrame.TransferRequest());
         }
+        XnioExecutor.Key limit = io.schedule(io.clock.now() + ANSWER_LIMIT_NS, () -> giveUp(channel));
         Optional<HandoverFrame> answer = channel.receive();
+        limit.remove();
         if (answer.isEmpty() || !(answer.get() instanceof HandoverFrame.StateTransfer state)) {
             channel.close();
             receiver.onChannelClosed();
@@ -110,11 +121,19 @@
         return Optional.of(new Takeover(lock, channel, state));
     }
 
+    /** The older process has not answered; the search goes on, and ends where that one keeps the folder. */
+    private static void giveUp(HandoverChannel channel) {
+        LOG.warn("handover.answer_timed_out", field("limit_ms", ANSWER_LIMIT_NS / Clock.MILLISECOND_NS));
+        channel.close();
+    }
+
     private void warmUp() throws InterruptedException {
         LOG.info("handover.warmup_started");
         CountDownLatch warmedUp = new CountDownLatch(1);
         io.run(() -> StandbyWarmup.run(io, config, warmedUp::countDown));
-        warmedUp.await();
+        if (!warmedUp.await(WARM_UP_LIMIT_NS, TimeUnit.NANOSECONDS)) {
+            LOG.warn("handover.warmup_timed_out", field("limit_ms", WARM_UP_LIMIT_NS / Clock.MILLISECOND_NS));
+        }
     }
 
     private boolean awaitLock() throws IOException, InterruptedException {
--- a/src/main/java/elderseam/app/PartitionService.java
+++ b/src/main/java/elderseam/app/PartitionService.java
@@ -3,6 +3,7 @@
 import static elderseam.logging.LogField.field;
 
 import elderseam.core.Clock;
+import elderseam.core.PeriodicTask;
 import elderseam.core.RequestDispatcher;
 import elderseam.fleet.BreakerState;
 import elderseam.fleet.partition.EndpointSubsetting;
@@ -77,6 +78,7 @@
                 settings.get(SettingKeys.SHARES_CONNECTIONS_EACH).intValue();
         this.retryRatio = settings.get(SettingKeys.SHARES_RETRIES_PERCENT) / 100.0;
         this.probesByTurns = settings.get(SettingKeys.SHARES_TRIALS).equals("one");
+        io.repeat(CHECK_INTERVAL_NS, this::check);
         check();
     }
 
@@ -85,15 +87,15 @@
         left = true;
     }
 
-    private void check() {
+    private long check() {
         if (left) {
-            return;
+            return PeriodicTask.NEVER;
         }
         divide();
         if (probesByTurns) {
             dispatcher.forEachBreaker(this::takeTurn);
         }
-        io.at(io.clock.now() + CHECK_INTERVAL_NS, this::check);
+        return io.clock.now() + CHECK_INTERVAL_NS;
     }
 
     /** Tells the policy its part again where members, endpoints or the divisor have changed. */
--- a/src/main/java/elderseam/app/RulesSetup.java
+++ b/src/main/java/elderseam/app/RulesSetup.java
@@ -99,6 +99,7 @@
             throw new IOException("rules: the journal has no room for what their keys stand on");
         }
         dispatcher.countAttemptsByDestination();
+        io.repeat(FORGET_INTERVAL_NS, this::forgetOldSchemes);
         forgetOldSchemes();
     }
 
@@ -153,10 +154,10 @@
                 field("max_cost", loaded.get().maxCost()));
     }
 
-    private void forgetOldSchemes() {
+    private long forgetOldSchemes() {
         engine.retainSchemes(journal.keySchemes().keySet());
         rememberedSchemes = engine.earlierSchemeCount();
-        io.at(io.clock.now() + FORGET_INTERVAL_NS, this::forgetOldSchemes);
+        return io.clock.now() + FORGET_INTERVAL_NS;
     }
 
     @Override
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -7,6 +7,7 @@
 import elderseam.control.OperatorCommand;
 import elderseam.core.AdmissionRules;
 import elderseam.core.Clock;
+import elderseam.core.PeriodicTask;
 import elderseam.fleet.ClockDriftBound;
 import elderseam.fleet.config.ConfigurationVersion;
 import elderseam.fleet.config.VersionStore;
@@ -78,7 +79,7 @@
         }
         LOG.info("configuration.version_restored", field("number", last.number()), field("hash", last.shortHash()));
         recordActive();
-        check();
+        PeriodicTask.start(io, clock, check(), CHECK_INTERVAL_NS, this::check);
     }
 
     /** The version that this member acts on, or acted on last where it is in doubt. */
@@ -101,9 +102,10 @@
         return new VersionGuard(active, rejectsInDoubt, boundMs * Clock.MILLISECOND_NS, rules, isKnown);
     }
 
-    private void check() {
+    /** Carries out what is due; when to look again, by the clock. */
+    private long check() {
         if (left) {
-            return;
+            return PeriodicTask.NEVER;
         }
         if (active.advance()) {
             activate();
@@ -115,7 +117,7 @@
         }
         long nowNs = clock.now();
         long changeNs = Math.max(active.nextChangeNs(), nowNs + Clock.MILLISECOND_NS);
-        io.at(Math.min(nowNs + CHECK_INTERVAL_NS, changeNs), this::check);
+        return Math.min(nowNs + CHECK_INTERVAL_NS, changeNs);
     }
 
     private void logDoubt(boolean inDoubt) {
@@ -145,8 +147,8 @@
                     field("hash", version.shortHash()),
                     field("author", version.author()),
                     field("note", version.note()));
-        } catch (IOException e) {
-            active.fault(VersionLabels.firstLine(e, ""));
+        } catch (IOException | RuntimeException e) { // whatever is wrong with it, the member does not act on it
+            active.fault(VersionLabels.firstLine(e, e.toString()));
             LOG.warn(
                     "configuration.version_activation_failed",
                     field("number", version.number()),
--- a/src/main/java/elderseam/core/PolicySnapshots.java
+++ b/src/main/java/elderseam/core/PolicySnapshots.java
@@ -30,6 +30,7 @@
     private final Clock clock;
     private final EventLoop loop;
     private PolicySnapshotStore store;
+    private boolean failing;
 
     PolicySnapshots(Handover handover, PolicyFacade policy, Journal journal, Clock clock, EventLoop loop) {
         this.handover = handover;
@@ -71,28 +72,28 @@
     public void save() {
         try {
             store = new PolicySnapshotStore(journal.aside(STORE_NAME), settingsShape());
-            scheduleSave();
+            PeriodicTask.start(loop, clock, clock.now() + SAVE_INTERVAL_NS, SAVE_INTERVAL_NS, this::saveNow);
         } catch (IOException e) {
             LOG.warn("snapshot.save_failed", error(e));
         }
     }
 
-    private void scheduleSave() {
-        loop.at(clock.now() + SAVE_INTERVAL_NS, this::saveNow);
-    }
-
-    private void saveNow() {
+    /** A failure is logged once until a save succeeds again: the disk may fail for a while. */
+    private long saveNow() {
         if (!handover.isTransferred()) {
             PolicySnapshotCodec.Writer snapshot = new PolicySnapshotCodec.Writer(clock);
             policy.transferState(clock.now(), snapshot);
             try {
                 store.save(snapshot.bytes());
+                failing = false;
             } catch (IOException e) {
-                LOG.warn("snapshot.save_failed", error(e));
-                return;
+                if (!failing) {
+                    LOG.warn("snapshot.save_failed", error(e));
+                }
+                failing = true;
             }
         }
-        scheduleSave();
+        return clock.now() + SAVE_INTERVAL_NS;
     }
 
     /** Identifies the counts that a snapshot's length depends on. */
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -13,6 +13,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.apache.ratis.conf.RaftProperties;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientReply;
@@ -38,6 +42,11 @@
     /** A new member has to receive the whole log before the group agrees to a change of members. */
     private static final int MAX_MEMBERSHIP_ATTEMPTS = 12;
 
+    /** A request is answered within this, whatever the engine does; its own attempts end well before. */
+    private static final long REQUEST_LIMIT_S = 30;
+
+    private static final long MEMBERSHIP_LIMIT_S = 180;
+
     private static final String GROUP_ID_PREFIX = "elderseam-leases:";
 
     static {
@@ -49,6 +58,7 @@
     private final LeaderClient leaderClient;
     private final String holderId;
     private final ExecutorService requestExecutor;
+    private final AtomicLong timedOutRequests = new AtomicLong();
 
     @FunctionalInterface
     private interface OutcomeDecoder<T> {
@@ -96,9 +106,10 @@
 
     /** Replaces the group's members, all at once, while leases are held; completes once the group has agreed. */
     public CompletableFuture<Void> changeMembers(Map<String, InetSocketAddress> members) {
-        return CompletableFuture.runAsync(
-                () -> send(MAX_MEMBERSHIP_ATTEMPTS, client -> client.admin().setConfiguration(raftPeers(members))),
-                requestExecutor);
+        return request(MEMBERSHIP_LIMIT_S, () -> {
+            send(MAX_MEMBERSHIP_ATTEMPTS, client -> client.admin().setConfiguration(raftPeers(members)));
+            return null;
+        });
     }
 
     /** Returns the members' names as this member knows them, sorted. */
@@ -179,13 +190,37 @@
 
     private <T> CompletableFuture<T> submit(GroupCommand command, OutcomeDecoder<T> decoder) {
         Message message = Message.valueOf(LeaseCodec.encodeCommand(command));
-        return CompletableFuture.supplyAsync(
-                () -> {
-                    RaftClientReply reply =
-                            send(MAX_ATTEMPTS, client -> client.io().send(message));
-                    return decode(reply, decoder);
-                },
-                requestExecutor);
+        return request(
+                REQUEST_LIMIT_S,
+                () -> decode(send(MAX_ATTEMPTS, client -> client.io().send(message)), decoder));
+    }
+
+    /**
+     * Carries out a request on the request thread. It is answered within the limit: the engine may stand in a request for
+     * longer, and who waits for an answer must not stand with it. A request that begins after its limit is not sent.
+     */
+    private <T> CompletableFuture<T> request(long limitS, Supplier<T> request) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        requestExecutor.execute(() -> {
+            if (answer.isDone()) {
+                return;
+            }
+            try {
+                answer.complete(request.get());
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+            }
+        });
+        return answer.orTimeout(limitS, TimeUnit.SECONDS).whenComplete((outcome, failure) -> {
+            if (failure instanceof TimeoutException) {
+                stateMachine.requestTimedOut(TimeUnit.SECONDS.toMillis(limitS), timedOutRequests.incrementAndGet());
+            }
+        });
+    }
+
+    /** How many requests of this member were not answered within their limit. */
+    public long timedOutRequests() {
+        return timedOutRequests.get();
     }
 
     /** Sends on the request thread; throws a LeaseGroupException unless the group carried the request out. */
@@ -215,7 +250,7 @@
         return stateMachine.versions();
     }
 
-    /** Stops the request thread, the client and the server; requests that wait complete exceptionally or never. */
+    /** Stops the request thread, the client and the server; requests that wait complete exceptionally within their limit. */
     @Override
     public void close() throws IOException {
         requestExecutor.shutdownNow();
--- a/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseStateMachine.java
@@ -70,6 +70,9 @@
         /** This member leads, and a follower answers but has refused its entries again and again. */
         default void followerRefused(FollowerRefusals.Refusal refusal) {}
 
+        /** A request of this member was not answered within its limit; {@code count}: so many by now. */
+        default void requestTimedOut(long limitMs, long count) {}
+
         /** A version was proposed, committed or refused. */
         default void versionsChanged() {}
     }
@@ -226,6 +229,11 @@
         return outcome;
     }
 
+    /** Passes on that a request of this member was not answered. Any thread may call this. */
+    void requestTimedOut(long limitMs, long count) {
+        listener.requestTimedOut(limitMs, count);
+    }
+
     /** Passes on what this member sees as the leader. Any thread may call this. */
     void followerRefused(FollowerRefusals.Refusal refusal) {
         listener.followerRefused(refusal);
--- a/src/main/java/elderseam/gossip/transport/GossipTransport.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -95,6 +95,7 @@
         this.nextCountsNs = nowNs + COUNTS_INTERVAL_NS;
         callbacks.listener().started(self.name(), self.address());
         flush();
+        io.repeat(REPORT_INTERVAL_NS, this::updateReports);
         updateReports();
     }
 
@@ -168,9 +169,10 @@
         flush();
     }
 
-    private void updateReports() {
+    /** When the next update is due; never once this is closed. */
+    private long updateReports() {
         if (isClosed) {
-            return;
+            return Long.MAX_VALUE;
         }
         long nowNs = io.clock.now();
         agent.updateReports(callbacks.ownBreakers().get(), callbacks.advice(), nowNs, wallMs());
@@ -178,7 +180,7 @@
             nextCountsNs = nowNs + COUNTS_INTERVAL_NS;
             logChangedCounts();
         }
-        io.at(nowNs + REPORT_INTERVAL_NS, this::updateReports);
+        return nowNs + REPORT_INTERVAL_NS;
     }
 
     private void logChangedCounts() {
--- a/src/main/java/elderseam/handover/HandoverChannel.java
+++ b/src/main/java/elderseam/handover/HandoverChannel.java
@@ -101,12 +101,16 @@
 
     /** Delivers each frame as it comes, then reports the outcome. On the calling thread, which it blocks until then. */
     public void receiveAll(Consumer<HandoverFrame> onFrame, Runnable onClosed) {
-        Optional<HandoverFrame> frame = receive();
-        while (frame.isPresent()) {
-            onFrame.accept(frame.get());
-            frame = receive();
+        try {
+            Optional<HandoverFrame> frame = receive();
+            while (frame.isPresent()) {
+                onFrame.accept(frame.get());
+                frame = receive();
+            }
+        } finally { // a frame that can't be handled ends the channel, and both sides learn of it
+            close();
+            onClosed.run();
         }
-        onClosed.run();
     }
 
     /** As {@link #receiveAll}, on a thread of its own. */
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -198,6 +198,7 @@
 
     private void sweep() {
         sweepScheduled = false;
+        scheduleSweep(); // first: the next one comes whatever this one throws
         long now = io.clock.now();
         boolean crowded = byChannel.size() > maxConnections / 2;
         List<ClientConnection> overdue = new ArrayList<>();
@@ -207,6 +208,5 @@
             }
         }
         overdue.forEach(ClientConnection::closeOverdue);
-        scheduleSweep();
     }
 }
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -217,9 +217,9 @@
 
     private void sweep() {
         sweepScheduled = false;
+        scheduleSweep(); // first: the next one comes whatever this one throws
         closeExpiredIdle(io.clock.now() - maxIdleNs);
         closeExpiredHalfClosed(io.clock.now() - LATE_RESPONSE_TIMEOUT_NS);
-        scheduleSweep();
     }
 
     private void closeExpiredIdle(long idleSinceNs) {
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -4,6 +4,7 @@
 
 import elderseam.core.Clock;
 import elderseam.core.EventLoop;
+import elderseam.core.PeriodicTask;
 import elderseam.core.StallDetector;
 import elderseam.logging.EventLogger;
 import io.undertow.connector.ByteBufferPool;
@@ -13,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.xnio.ChannelPipe;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -128,6 +130,11 @@
         schedule(time, task);
     }
 
+    /** Runs a task again and again, see {@link PeriodicTask}; the first run comes after one interval. */
+    public void repeat(long intervalNs, LongSupplier task) {
+        PeriodicTask.start(this, clock, clock.now() + intervalNs, intervalNs, task);
+    }
+
     @Override
     public boolean isStalled() {
         if (stallDetector.isStalled(clock.now()) && !catchingUp) {
--- a/src/test/java/elderseam/core/PolicySnapshotsTest.java
+++ b/src/test/java/elderseam/core/PolicySnapshotsTest.java
@@ -8,6 +8,7 @@
 import elderseam.policy.BreakerState;
 import elderseam.policy.ListUpdateKind;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -81,4 +82,45 @@
         assertEquals(
                 3, new PolicySnapshotStore(store, 7).load().orElseThrow().length, "one that is too long is dropped");
     }
+
+    /** A disk that fails for a while, as the Linux man pages allow: the first failure used to end the saving for good. */
+    @Test
+    void afterAFailedSaveTheNextOnesGoOn() throws IOException {
+        FailingStore store = new FailingStore();
+        RequestDispatcher dispatcher = harness.newDispatcher(new Journal(store, 1_000_000, harness.clock));
+        dispatcher.snapshots().restoreAndSave();
+        store.fails = true;
+        runTimers();
+        store.fails = false;
+        store.savedBytes = 0;
+        runTimers();
+        assertTrue(store.savedBytes > 0, "nothing was saved after the failure");
+    }
+
+    private void runTimers() {
+        List<Runnable> due = List.copyOf(harness.timers);
+        harness.timers.clear();
+        due.forEach(Runnable::run);
+    }
+
+    /** Counts the bytes that are written aside, and fails them while told to. */
+    private static final class FailingStore extends InMemoryJournalStore {
+        private boolean fails;
+        private long savedBytes;
+
+        @Override
+        public JournalStore aside(String name) {
+            JournalStore store = super.aside(name);
+            return (JournalStore) Proxy.newProxyInstance(
+                    getClass().getClassLoader(), new Class<?>[] {JournalStore.class}, (self, method, arguments) -> {
+                        if (method.getName().equals("write")) {
+                            if (fails) {
+                                throw new IOException("No space left on device");
+                            }
+                            savedBytes += ((byte[]) arguments[0]).length;
+                        }
+                        return method.invoke(store, arguments);
+                    });
+        }
+    }
 }
--- a/src/test/java/elderseam/handover/HandoverChannelTest.java
+++ b/src/test/java/elderseam/handover/HandoverChannelTest.java
@@ -99,4 +99,22 @@
         Files.writeString(socket, "half");
         assertEquals(Optional.empty(), HandoverChannel.connect(directory));
     }
+
+    /** A frame that the receiver can't handle ends the channel on both sides, and not the reading thread in silence. */
+    @Test
+    void aFrameThatCannotBeHandledEndsTheChannel() throws Exception {
+        try (HandoverListener listener = HandoverListener.open(
+                directory,
+                channel -> channel.receiveAll(
+                        frame -> {
+                            throw new IllegalStateException("of the test");
+                        },
+                        () -> received.add(CLOSED)))) {
+            assertTrue(listener.isOpen());
+            HandoverChannel channel = HandoverChannel.connect(directory).orElseThrow();
+            channel.send(REQUEST);
+            assertEquals(CLOSED, nextReceived());
+            assertEquals(Optional.empty(), channel.receive(), "the other side sees the end");
+        }
+    }
 }
