Connections are accepted on the I/O thread, and all of them before the port closes

Cause: XNIO accepts on a thread of its own. The shutdown closed the socket after a pass of the I/O thread over its sockets, which says nothing of that thread: what it had not accepted yet was reset. Mend: plain HTTP is accepted by IoThreadListener, so the pass covers accepting, and a stop accepts what is left in the backlog before it closes the socket.

--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -6,7 +6,9 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import javax.net.ssl.SSLContext;
@@ -17,7 +19,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.InheritedListener;
+import org.xnio.nio.IoThreadListener;
 
 /**
  * A listener for HTTP/1.1 requests: accepts connections within a bound, and passes each complete request to a handler,
@@ -80,12 +82,13 @@
     private final ServerSocketChannel inheritedSocket; // null: the server binds its own
     private final HttpOpenListener httpListener;
     private final ChannelListener<StreamConnection> onConnection;
-    private final OptionMap socketOptions;
+    private final int maxOpen;
     private final UndertowXnioSsl ssl; // null: plain HTTP
     private final RequestReceiver receiver;
     private InetSocketAddress address;
-    private AcceptingChannel<? extends StreamConnection> ownListener; // null while it doesn't accept
-    private InheritedListener inheritedListener; // null before the first start, and without an inherited socket
+    private AcceptingChannel<? extends StreamConnection>
+            tlsListener; // null while it doesn't accept, and for plain HTTP
+    private IoThreadListener listener; // null before the first start, after a stop of an own socket, and for TLS
 
     /** A server that binds a socket of its own; for the parameters see the other constructor. */
     public HttpServer(
@@ -128,7 +131,7 @@
         this.receiver = new RequestReceiver(clientConnections, maxBodyBytes, handler);
         this.httpListener = new HttpOpenListener(io.buffers(), undertowOptions(maxBodyBytes));
         httpListener.setRootHandler(new HttpContinueReadHandler(receiver)); // clients may send Expect: 100-continue
-        this.socketOptions = socketOptions(maxConnections + MAX_CONNECTIONS_BEYOND_BOUND);
+        this.maxOpen = maxConnections + MAX_CONNECTIONS_BEYOND_BOUND;
         this.onConnection = clientConnections.guard(httpListener);
         this.ssl = context == null
                 ? null
@@ -148,13 +151,13 @@
                 .getMap();
     }
 
-    private static OptionMap socketOptions(int maxAccepted) {
+    private OptionMap tlsSocketOptions() {
         return OptionMap.builder()
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.BACKLOG, BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, maxAccepted)
-                .set(Options.CONNECTION_LOW_WATER, maxAccepted)
+                .set(Options.CONNECTION_HIGH_WATER, maxOpen)
+                .set(Options.CONNECTION_LOW_WATER, maxOpen)
                 .getMap();
     }
 
@@ -164,34 +167,70 @@
      * @throws IOException if the address can't be bound
      */
     public void startAccepting() throws IOException {
-        if (inheritedSocket != null) {
-            if (inheritedListener == null) {
-                inheritedListener = InheritedListener.register(io.thread(), inheritedSocket, onConnection);
-            }
-            inheritedListener.resume();
-        } else if (ownListener == null) {
-            ownListener = bind();
-            address = ownListener.getLocalAddress(InetSocketAddress.class);
-            ownListener.resumeAccepts();
+        if (ssl != null) {
+            startAcceptingTls();
+        } else if (listener == null) {
+            ServerSocketChannel socket = inheritedSocket == null ? bind() : inheritedSocket;
+            runOnIoThread(() -> listen(socket));
+        } else if (inheritedSocket != null) {
+            listener.resume();
         }
     }
 
-    private AcceptingChannel<? extends StreamConnection> bind() throws IOException {
-        return ssl == null
-                ? io.worker()
-                        .createStreamConnectionServer(
-                                address, ChannelListeners.openListenerAdapter(onConnection), socketOptions)
-                : ssl.createSslConnectionServer(
-                        io.worker(), address, ChannelListeners.openListenerAdapter(onConnection), socketOptions);
+    private void startAcceptingTls() throws IOException {
+        if (tlsListener == null) {
+            tlsListener = ssl.createSslConnectionServer(
+                    io.worker(), address, ChannelListeners.openListenerAdapter(onConnection), tlsSocketOptions());
+            address = tlsListener.getLocalAddress(InetSocketAddress.class);
+            tlsListener.resumeAccepts();
+        }
+    }
+
+    private ServerSocketChannel bind() throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
+        try {
+            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            socket.bind(address, BACKLOG);
+            address = (InetSocketAddress) socket.getLocalAddress();
+            return socket;
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** At once where this is the I/O thread, else soon: clients wait in the socket's backlog until then. */
+    private void runOnIoThread(Runnable task) {
+        if (Thread.currentThread() == io.thread()) {
+            task.run();
+        } else {
+            io.run(task);
+        }
+    }
+
+    private void listen(ServerSocketChannel socket) {
+        try {
+            listener = IoThreadListener.register(io.thread(), socket, maxOpen, onConnection);
+            listener.resume();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the listening socket of " + address, e); // it was bound just now
+        }
     }
 
-    /** Accepts no new connections; those that are open stay open. */
+    /**
+     * Accepts no new connections; those that are open stay open. Who has connected by now is accepted: closing the socket
+     * would reset it, with a request that may be on its way. (TLS is accepted on another thread of XNIO's, where one that
+     * has just connected may still be reset.)
+     */
     public void stopAccepting() {
-        if (inheritedListener != null) {
-            inheritedListener.suspend();
+        if (listener != null && inheritedSocket != null) {
+            listener.suspend();
+        } else if (listener != null) {
+            listener.acceptPendingAndClose();
+            listener = null;
         }
-        IoUtils.safeClose(ownListener);
-        ownListener = null;
+        IoUtils.safeClose(tlsListener);
+        tlsListener = null;
     }
 
     /** Where it listens, with the port that was bound. */
--- a/src/main/java/org/xnio/nio/package-info.java
+++ b/src/main/java/org/xnio/nio/package-info.java
@@ -1,5 +1,5 @@
 /**
- * XNIO's own package, entered for one class: {@link org.xnio.nio.InheritedListener} needs constructors that only this
+ * XNIO's own package, entered for one class: {@link org.xnio.nio.IoThreadListener} needs constructors that only this
  * package sees.
  */
 package org.xnio.nio;
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -40,6 +40,7 @@
     private static final int MAX_BODY_BYTES = 64 << 10;
     private static final int MAX_BODY_BYTES_IN_TRANSIT = 1 << 20;
     private static final int TIMEOUT_S = 20;
+    private static final int ROUNDS_OF_STOPS = 20;
 
     /** Of the requests for anything but /now, which is answered at once. */
     private final BlockingQueue<HttpServer.Answerer> answerers = new LinkedBlockingQueue<>();
@@ -337,4 +338,27 @@
         }
         return values;
     }
+
+    /**
+     * Whoever has connected before the port closes is accepted and answered. What happened: XNIO accepts on a thread of
+     * its own; where that had not run yet as the socket was closed, the connection was reset with its request.
+     */
+    @Test
+    void whoHasConnectedBeforeTheStopIsAnswered() throws Exception {
+        for (int round = 0; round < ROUNDS_OF_STOPS; round++) {
+            CompletableFuture<Socket> connected = new CompletableFuture<>();
+            io.run(() -> {
+                try {
+                    connected.complete(connect(GET));
+                    server.stopAccepting();
+                    server.startAccepting();
+                } catch (IOException e) {
+                    connected.completeExceptionally(e);
+                }
+            });
+            Socket client = connected.get(TIMEOUT_S, TimeUnit.SECONDS);
+            assertStatus(200, readHead(client));
+            client.close();
+        }
+    }
 }
