A notification that replaces another is not dropped with it

What callers would have seen: the outcome of a message changed while the notification of the former one was on its way; the 204 to that dropped the newer one as well (known by reading). Cause: NotificationSender took what it held under the ids of a call for what it had sent. Mend: the notification itself is compared; one that was replaced stays owed. Measured: NotificationSenderTest fails without it (no second call within 10 s), passes with it.

--- a/src/main/java/elderseam/frontend/platform/NotificationSender.java
+++ b/src/main/java/elderseam/frontend/platform/NotificationSender.java
@@ -122,32 +122,32 @@
         if (latestCall != null) {
             latestCall.cancel();
         }
-        List<String> requestIds = new ArrayList<>();
-        HttpRequest call = nextCall(requestIds);
+        List<Notification> sent = new ArrayList<>();
+        HttpRequest call = nextCall(sent);
         long deadline = io.clock.now() + ANSWER_TIMEOUT_NS;
         latestCall = connections.send(platform, call, deadline, deadline, result -> {
             if (number == latestCallNumber) {
-                onResult(requestIds, result);
+                onResult(sent, result);
             }
         });
     }
 
-    /** The call for the most urgent notifications, whose requests' ids are added to the list. */
-    private HttpRequest nextCall(List<String> requestIds) {
+    /** The call for the most urgent notifications, which are added to the list. */
+    private HttpRequest nextCall(List<Notification> sent) {
         StringBuilder lines = new StringBuilder();
         Iterator<Notification> notifications = byDeadline.iterator();
-        while (notifications.hasNext() && requestIds.size() < MAX_NOTIFICATIONS_PER_CALL) {
+        while (notifications.hasNext() && sent.size() < MAX_NOTIFICATIONS_PER_CALL) {
             Notification notification = notifications.next();
-            requestIds.add(notification.requestId);
+            sent.add(notification);
             lines.append(notification.line);
         }
         return new HttpRequest("POST", "/status", Map.of(), lines.toString().getBytes(StandardCharsets.UTF_8));
     }
 
-    private void onResult(List<String> requestIds, HttpResult result) {
+    private void onResult(List<Notification> sent, HttpResult result) {
         boolean acknowledged = result.answered() && result.code() == ACKNOWLEDGED_STATUS;
         if (acknowledged) {
-            requestIds.forEach(this::onAcknowledged);
+            sent.forEach(this::onAcknowledged);
         }
         sending = !byRequestId.isEmpty();
         if (sending && acknowledged) {
@@ -157,9 +157,12 @@
         }
     }
 
-    private void onAcknowledged(String requestId) {
-        byDeadline.remove(byRequestId.remove(requestId));
-        dispatcher.markNotified(requestId);
+    /** One that was replaced while its call was in flight is not acknowledged by that call. */
+    private void onAcknowledged(Notification sent) {
+        if (byRequestId.remove(sent.requestId, sent)) {
+            byDeadline.remove(sent);
+            dispatcher.markNotified(sent.requestId);
+        }
     }
 
     private void retryLater() {
--- /dev/null
+++ b/src/test/java/elderseam/frontend/platform/NotificationSenderTest.java
@@ -0,0 +1,113 @@
+package elderseam.frontend.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import elderseam.core.ActiveRequest;
+import elderseam.core.BreakerListener;
+import elderseam.core.Clock;
+import elderseam.core.FinalOutcome;
+import elderseam.core.InMemoryJournalStore;
+import elderseam.core.Journal;
+import elderseam.core.RequestDispatcher;
+import elderseam.core.SettingsMap;
+import elderseam.http.EndpointAddress;
+import elderseam.http.EndpointConnectionPool;
+import elderseam.http.HttpServer;
+import elderseam.http.IoLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Notifications to a platform that answers when the test says so. */
+class NotificationSenderTest {
+    private static final int TIMEOUT_S = 10;
+    private static final int LIMIT = 1 << 16;
+    private static final long SECOND_NS = 1_000 * Clock.MILLISECOND_NS;
+
+    private record Call(String body, HttpServer.Answerer answerer) {}
+
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    private final IoLoop io;
+    private final NotificationSender sender;
+
+    NotificationSenderTest() throws Exception {
+        Clock clock = new Clock();
+        io = new IoLoop(clock);
+        HttpServer platform = new HttpServer(
+                io,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                LIMIT,
+                8,
+                LIMIT,
+                null,
+                (request, answerer) ->
+                        calls.add(new Call(new String(request.body(), StandardCharsets.UTF_8), answerer)));
+        InetSocketAddress bound = platform.address();
+        EndpointAddress address = new EndpointAddress("", bound.getHostString() + ":" + bound.getPort());
+        Map<String, String> settings = Map.of(
+                "discovery", "ask",
+                "extra.callSlots", "4",
+                "limits.mostHeld", "8",
+                "limits.maxAttempts", "3",
+                "services.count", "1",
+                "services.0.effect", "once",
+                "services.0.targetNs", "2000000000",
+                "services.0.giveUpNs", "9000000000");
+        RequestDispatcher dispatcher = new RequestDispatcher(
+                new SettingsMap(settings).settings(),
+                1,
+                new Journal(new InMemoryJournalStore(), 1 << 20, clock),
+                clock,
+                io,
+                BreakerListener.NONE);
+        sender = new NotificationSender(
+                io, new EndpointConnectionPool(io, 10 * SECOND_NS, 8, LIMIT), address, dispatcher);
+    }
+
+    private void onIoThread(Runnable task) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        io.run(() -> {
+            task.run();
+            done.complete(null);
+        });
+        done.get(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private Call nextCall() throws InterruptedException {
+        Call call = calls.poll(TIMEOUT_S, TimeUnit.SECONDS);
+        assertNotNull(call, "a call");
+        return call;
+    }
+
+    /** What the platform acknowledges is what it was sent: a newer outcome of the same request is still owed. */
+    @Test
+    void anOutcomeThatCameWhileAnotherWasOnItsWayIsSentToo() throws Exception {
+        long deadline = io.clock.now() + 9 * SECOND_NS;
+        ActiveRequest.Message message =
+                new ActiveRequest.Message("m", (byte) 0, 0, -1, 1, deadline, deadline, false, true, "", new byte[0]);
+        onIoThread(() -> {
+            sender.add(message, FinalOutcome.rejected(500 * Clock.MILLISECOND_NS));
+            sender.flush();
+        });
+        Call first = nextCall();
+        assertEquals("{\"id\":\"m\",\"status\":\"deferred\",\"again_ms\":500}\n", first.body);
+        onIoThread(() -> sender.add(message, FinalOutcome.FAILED));
+        onIoThread(() -> first.answerer.answer(204, Map.of(), ""));
+        Call second = nextCall();
+        assertEquals("{\"id\":\"m\",\"status\":\"undeliverable\"}\n", second.body);
+        onIoThread(() -> second.answerer.answer(204, Map.of(), ""));
+        long until = System.nanoTime() + TIMEOUT_S * SECOND_NS;
+        int[] owed = {1};
+        while (owed[0] > 0 && System.nanoTime() < until) {
+            onIoThread(() -> owed[0] = sender.unacknowledged());
+        }
+        assertEquals(0, owed[0]);
+    }
+}
