Records of what has happened are written until they are, and no rejection before

What callers would have seen: while writes fail, a message that was never sent is rejected and its record dropped; after a kill it is sent, and its client hands it in again as told: it runs twice.

--- a/src/main/java/elderseam/core/DuplicateRequests.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -129,10 +129,10 @@
         index.complete(first).forEach(duplicate -> complete(duplicate, outcome, OutcomeReason.DUPLICATE));
     }
 
-    private void complete(ActiveRequest.Message duplicate, FinalOutcome outcome, OutcomeReason reason) {
+    private void complete(ActiveRequest.Message duplicate, FinalOutcome decided, OutcomeReason reason) {
+        FinalOutcome outcome = journal.completed(duplicate, decided, true);
         metrics.requestCompleted(duplicate.classIndex(), outcome, reason);
         log.completed(duplicate, outcome, reason);
-        journal.completed(duplicate, outcome, true);
         order.completed(duplicate, outcome, true);
         frontends.get(duplicate.frontend()).completed(duplicate, outcome);
     }
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -12,8 +12,8 @@
  * What must outlast the process: each accepted message, its attempts, its outcome, and whether the client was
  * notified of that. Written to an append-only {@link JournalLog}, and held in memory by a {@link JournalIndex}. The
  * log and its compacted successor exist together for a moment, so that what is live may take at most half of the
- * capacity; a message for which there is no capacity is not accepted. A record that cannot be written is logged.
- * Confined to the event-loop thread.
+ * capacity; a message for which there is no capacity is not accepted. A record of what has
+ * happened that cannot be written is written later, before any other. Confined to the event-loop thread.
  */
 public final class Journal implements AutoCloseable {
     /** Bytes of the capacity that are left free. */
@@ -108,32 +108,70 @@
         return true;
     }
 
-    /** Records the end of the attempt in flight. */
+    /** Records the end of the attempt in flight, if its begin was recorded; later where that can't be written now. */
     public void attemptEnded(String id, boolean mayHaveRun) {
-        log.append(JournalRecordEncoder.attemptEnded(id, mayHaveRun));
+        if (!index.hasAttemptInFlight(id)) {
+            return;
+        }
+        log.appendOrOwe(JournalRecordEncoder.attemptEnded(id, mayHaveRun));
         index.attemptEnded(id, mayHaveRun);
     }
 
-    /** Records the final outcome of a message; {@code acknowledged}: its client waits to be notified. */
-    public void completed(ActiveRequest.Message message, FinalOutcome outcome, boolean acknowledged) {
-        JournalEntry entry = JournalEntry.completed(
+    /**
+     * Records the final outcome of a message, later where that can't be written now; {@code acknowledged}: its client
+     * waits to be notified. A rejection that can't be written counts as a failure: its client would hand the message in
+     * again, and a restart would send it as well.
+     *
+     * @return the outcome that counts
+     */
+    public FinalOutcome completed(ActiveRequest.Message message, FinalOutcome outcome, boolean acknowledged) {
+        JournalEntry entry = completedEntry(message, outcome, acknowledged);
+        if (outcome.isRejection() && !log.append(JournalRecordEncoder.completed(message.id(), entry))) {
+            return log.isSuspended() ? complete(message, entry) : completed(message, FinalOutcome.FAILED, acknowledged);
+        }
+        if (!outcome.isRejection()) {
+            log.appendOrOwe(JournalRecordEncoder.completed(message.id(), entry));
+        }
+        return complete(message, entry);
+    }
+
+    private JournalEntry completedEntry(ActiveRequest.Message message, FinalOutcome outcome, boolean acknowledged) {
+        return JournalEntry.completed(
                 message.frontend(),
                 clock.toSteady(message.rememberUntil()),
                 outcome,
                 acknowledged && outcome.needsNotification());
-        log.append(JournalRecordEncoder.completed(message.id(), entry));
+    }
+
+    private FinalOutcome complete(ActiveRequest.Message message, JournalEntry entry) {
         index.completed(message.id(), entry);
         index.sweepIfGrown();
+        return entry.outcome;
     }
 
-    /** Records that the client was notified of the message's outcome, where that was owed. */
+    /** Records that the client was notified of the message's outcome, where that was owed; later if need be. */
     public void notified(String id) {
         if (index.owesNotification(id)) {
-            log.append(JournalRecordEncoder.notified(id));
+            log.appendOrOwe(JournalRecordEncoder.notified(id));
             index.notified(id);
         }
     }
 
+    /** Sets what is run when a record could not be written: {@link #writeOwedRecords} is to be called until it can. */
+    void onRecordsOwed(Runnable listener) {
+        log.onOwed(listener);
+    }
+
+    /** Tries to write the records that could not be written; whether none is owed any more. */
+    boolean writeOwedRecords() {
+        return log.writeOwed();
+    }
+
+    /** How many records could not be written yet. */
+    int owedRecords() {
+        return log.owedRecords();
+    }
+
     /** The final outcome of a message, where it is remembered. */
     public Optional<FinalOutcome> outcome(String id) {
         return index.outcome(id);
--- a/src/main/java/elderseam/core/JournalIndex.java
+++ b/src/main/java/elderseam/core/JournalIndex.java
@@ -106,6 +106,12 @@
         }
     }
 
+    /** Whether an attempt of that message has begun and not ended. */
+    boolean hasAttemptInFlight(String id) {
+        JournalEntry entry = entries.get(id);
+        return entry != null && entry.hasAttemptInFlight();
+    }
+
     @Override
     public void attemptEnded(String id, boolean mayHaveRun) {
         JournalEntry entry = entries.get(id);
--- a/src/main/java/elderseam/core/JournalLog.java
+++ b/src/main/java/elderseam/core/JournalLog.java
@@ -4,6 +4,7 @@
 
 import elderseam.logging.EventLogger;
 import java.io.IOException;
+import java.util.ArrayDeque;
 
 /**
  * The append-only file of the journal's records. A torn tail is cut off when it is opened. When it is full, what is
@@ -17,6 +18,12 @@
     private final JournalIndex index;
     private long size;
     private boolean suspended;
+    private boolean failing;
+
+    /** Records of what the index holds already, oldest first; a few for each message in flight at most. */
+    private final ArrayDeque<byte[]> owed = new ArrayDeque<>();
+
+    private Runnable onOwed = () -> {};
 
     /** Opens the log and reads its records into the index; {@code capacity} in bytes. */
     JournalLog(JournalStore store, long capacity, Clock clock, JournalIndex index) throws IOException {
@@ -39,14 +46,49 @@
         }
     }
 
+    /** Sets what is run when a record could not be written and is owed from then on. */
+    void onOwed(Runnable listener) {
+        onOwed = listener;
+    }
+
     /**
-     * Appends a record, or several that belong together; false where there is no capacity, another process writes, or the store failed, which is
-     * logged.
+     * Appends a record, or several that belong together, after all that is owed; false where there is no capacity,
+     * another process writes, or the store failed, which is logged.
      */
     boolean append(byte[] record) {
-        if (suspended) {
-            return false;
+        return !suspended && writeOwed() && write(record);
+    }
+
+    /**
+     * Appends a record of what has happened already. Where that fails it is owed: {@link #writeOwed} writes it before
+     * any other. False where it is owed.
+     */
+    boolean appendOrOwe(byte[] record) {
+        if (suspended || append(record)) {
+            return true; // while another process writes, it has its own record
+        }
+        owed.add(record);
+        onOwed.run();
+        return false;
+    }
+
+    /** Writes what is owed, in its order; whether nothing is owed any more. */
+    boolean writeOwed() {
+        while (!owed.isEmpty()) {
+            if (!write(owed.peek())) {
+                return false;
+            }
+            owed.poll(); // null where a compaction has written it
         }
+        return true;
+    }
+
+    /** How many records are owed. */
+    int owedRecords() {
+        return owed.size();
+    }
+
+    private boolean write(byte[] record) {
         try {
             // the log with this record, and its compacted successor, must fit together
             if (size + 2L * record.length + Math.max(0, index.liveBytes()) > capacity) {
@@ -57,13 +99,29 @@
             }
             store.write(record, size);
             size += record.length;
+            noteWritten();
             return true;
         } catch (IOException e) {
-            LOG.warn("journal.write_failed", error(e));
+            noteFailure(e);
             return false; // what was half written stays behind the end and is written over
         }
     }
 
+    /** Logged once until a write succeeds, since writes are tried again and again. */
+    private void noteFailure(IOException failure) {
+        if (!failing) {
+            LOG.warn("journal.write_failed", error(failure));
+        }
+        failing = true;
+    }
+
+    private void noteWritten() {
+        if (failing) {
+            LOG.info("journal.write_recovered");
+        }
+        failing = false;
+    }
+
     /** Writes what is live to a new file, which then takes the place of the old one. */
     private void compact() throws IOException {
         index.sweep();
@@ -77,6 +135,7 @@
             throw e;
         }
         size = appender.size;
+        owed.clear(); // the index holds them
     }
 
     /** Discards a file that was not finished; what fails then must not hide why. */
@@ -104,6 +163,11 @@
         }
     }
 
+    /** Whether another process writes. */
+    boolean isSuspended() {
+        return suspended;
+    }
+
     /** Stops appending until {@link #resume}. */
     void suspend() {
         suspended = true;
--- /dev/null
+++ b/src/main/java/elderseam/core/JournalRetry.java
@@ -0,0 +1,38 @@
+package elderseam.core;
+
+/**
+ * Tries again to write what the journal could not write, at intervals, until it can. Confined to the event-loop thread.
+ */
+final class JournalRetry {
+    private static final long INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
+
+    private final Journal journal;
+    private final Clock clock;
+    private final EventLoop loop;
+    private boolean scheduled;
+
+    JournalRetry(Journal journal, Clock clock, EventLoop loop) {
+        this.journal = journal;
+        this.clock = clock;
+        this.loop = loop;
+    }
+
+    /** From now on; costs nothing while every record can be written. */
+    void start() {
+        journal.onRecordsOwed(this::schedule);
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            loop.at(clock.now() + INTERVAL_NS, this::retry);
+        }
+    }
+
+    private void retry() {
+        scheduled = false;
+        if (!journal.writeOwedRecords()) {
+            schedule();
+        }
+    }
+}
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -79,6 +79,7 @@
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
         this.executor = new DecisionExecutor(this, attempts);
         this.decisions = new DecisionLoop(executor, policy, clock, loop);
+        new JournalRetry(journal, clock, loop).start();
         this.admission = new RequestAdmission(this, settings, policy, journal, duplicates, metrics, log, clock);
     }
 
@@ -128,6 +129,9 @@
         metrics.appendLines(classNames, lines);
         EndpointCounts listed = policy.listed(clock.now());
         lines.add("edge_relay.inflight=" + requestsInFlight());
+        if (journal.owedRecords() > 0) {
+            lines.add("edge_relay.journal_owed=" + journal.owedRecords());
+        }
         lines.add("edge_relay.hosts_listed=" + listed.listed());
         lines.add("edge_relay.hosts_down=" + listed.unavailable());
         order.appendMetrics("edge_relay.", lines);
@@ -369,12 +373,12 @@
         // with a key, a duplicate may come in a class that must not run twice: what may have run must not be submitted
         // anew
         boolean unsafeToRetry = decided.isRejection() && request.mayHaveRun && message.hasDeduplicationKey();
-        FinalOutcome outcome = unsafeToRetry ? FinalOutcome.FAILED : decided;
+        FinalOutcome wanted = unsafeToRetry ? FinalOutcome.FAILED : decided;
+        FinalOutcome outcome = journal.completed(message, wanted, request.acknowledged);
         request.outcome = outcome;
         metrics.requestCompleted(message.classIndex(), outcome, reason);
         log.completed(message, outcome, reason);
         requests.remove(request.id());
-        journal.completed(message, outcome, request.acknowledged);
         order.completed(message, outcome, request.acknowledged);
         if (request.acknowledged) {
             frontends.get(message.frontend()).completed(message, outcome);
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -90,11 +90,12 @@
     @Test
     void anAttemptTheJournalCouldNotRecordBlamesNoEndpoint() throws IOException {
         FailingStore store = new FailingStore();
-        harness.dispatcher = harness.newDispatcher(new Journal(store, 1_000_000, harness.clock));
+        Journal journal = new Journal(store, 1_000_000, harness.clock);
+        harness.dispatcher = harness.newDispatcher(journal);
         store.writesLeft = 1_000;
         DispatcherHarness.listEndpoint(harness.dispatcher, ListUpdateKind.COMPLETE);
         for (String id : List.of("a", "b", "c", "d", "e")) {
-            store.writesLeft = 1; // its record, not that of its attempt
+            store.writesLeft = journal.owedRecords() + 1; // what is owed and its record, not that of its attempt
             assertEquals(Optional.empty(), harness.submit(id));
             harness.runDueTasks();
         }
