Test of the accept race: a server and a port of its own for each round

Seen: whoHasConnectedBeforeTheStopIsAnswered failed once beside tests that fork processes. Change: each round starts a server at a port of its own; the claim and the 20 rounds stay.

--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -346,19 +346,19 @@
     @Test
     void whoHasConnectedBeforeTheStopIsAnswered() throws Exception {
         for (int round = 0; round < ROUNDS_OF_STOPS; round++) {
+            startServer(); // at a port of its own: a process that another test just forks may hold the last one's
+            // socket
             CompletableFuture<Socket> connected = new CompletableFuture<>();
             io.run(() -> {
                 try {
-                    connected.complete(connect(GET));
+                    Socket client = connect(GET);
                     server.stopAccepting();
-                    server.startAccepting();
+                    connected.complete(client);
                 } catch (IOException e) {
                     connected.completeExceptionally(e);
                 }
             });
-            Socket client = connected.get(TIMEOUT_S, TimeUnit.SECONDS);
-            assertStatus(200, readHead(client));
-            client.close();
+            assertStatus(200, readHead(connected.get(TIMEOUT_S, TimeUnit.SECONDS)));
         }
     }
 }
