A fault of this machine is not held against the endpoint

Cause: both were told as a broken connection, or as an attempt to be made again at once. Mend: LOCAL_FAILURE says nothing of the endpoint and is tried again after a doubling back-off.

--- a/src/main/java/elderseam/core/AttemptOutcome.java
+++ b/src/main/java/elderseam/core/AttemptOutcome.java
@@ -42,7 +42,12 @@
         /** Cancelled by this process. */
         ABANDONED,
         /** This process held the attempt back at the last moment; the endpoint was never asked. */
-        NOT_STARTED
+        NOT_STARTED,
+        /**
+         * This machine could not begin it: no descriptor, port or buffer, no connection to spare, no record in the journal.
+         * The endpoint was never asked.
+         */
+        LOCAL_FAILURE
     }
 
     /** The outcome of an attempt without a response. */
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -90,7 +90,9 @@
         log.attemptBegan(request, number, begin.endpoint());
         if (!journal.attemptBegins(request.id())) {
             // unrecorded, it must not be sent; held back here, it tells the policy nothing of the endpoint
-            loop.at(start, () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.NOT_STARTED)));
+            loop.at(
+                    start,
+                    () -> attempt.ended(AttemptOutcome.unanswered(Progress.NOT_CONNECTED, Status.LOCAL_FAILURE)));
             return Optional.empty();
         }
         long latestAnswer = Math.min(begin.answerBy(), request.message.latestOutcome(start));
@@ -160,6 +162,9 @@
                 return;
             }
             log.attemptEnded(request, number, endpoint, outcome);
+            if (outcome.status() == Status.LOCAL_FAILURE) {
+                metrics.attemptFailedLocally();
+            }
             journal.attemptEnded(request.id(), outcome.mayHaveRun());
             request.mayHaveRun |= outcome.mayHaveRun();
             policy.attemptEnded(clock.now(), request.id(), number, endpoint, start, outcome);
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -19,6 +19,7 @@
     private final ClassCounters[] byClass;
     private final Map<OutcomeReason, Long> undelivered = new EnumMap<>(OutcomeReason.class);
     private long attempts;
+    private long localFailures;
 
     /** {@code classes}: how many message classes there are. */
     Metrics(int classes) {
@@ -48,6 +49,11 @@
         attempts++;
     }
 
+    /** Counts an attempt that this machine could not begin. */
+    void attemptFailedLocally() {
+        localFailures++;
+    }
+
     /**
      * Appends a line for each counter; {@code classNames} in the order of the settings. A reason has a line once a
      * request was rejected or failed for it.
@@ -62,6 +68,9 @@
             lines.add(prefix + "backend_calls=" + counters.attempts);
         }
         lines.add(PREFIX + "backend_calls=" + attempts);
+        if (localFailures > 0) {
+            lines.add(PREFIX + "local_failures=" + localFailures);
+        }
         undelivered.forEach((reason, count) -> lines.add(PREFIX + "undelivered." + reason.label() + "=" + count));
     }
 }
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -168,6 +168,7 @@
             case ERROR -> AttemptResult.ERROR;
             case OVERLOADED -> AttemptResult.FULL;
             case NO_SLOT, EXPIRED, WITHDRAWN, NOT_STARTED -> AttemptResult.NOT_SENT;
+            case LOCAL_FAILURE -> AttemptResult.LOCAL_FAILURE;
             case BROKEN -> outcome.mayHaveRun() ? AttemptResult.RESET : AttemptResult.CONNECT_FAILED;
             case TIMED_OUT -> outcome.mayHaveRun() ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED;
             case ABANDONED -> outcome.mayHaveRun() ? AttemptResult.CANCELLED : AttemptResult.CONNECT_FAILED;
--- a/src/main/java/elderseam/handover/HandoverFrameCodec.java
+++ b/src/main/java/elderseam/handover/HandoverFrameCodec.java
@@ -53,6 +53,11 @@
 
     private HandoverFrameCodec() {}
 
+    /** A local failure is sent as what earlier releases know: neither asked the endpoint. */
+    private static Status wireStatus(Status status) {
+        return status == Status.LOCAL_FAILURE ? Status.NOT_STARTED : status;
+    }
+
     /**
      * The frame's bytes, without a length.
      *
@@ -137,7 +142,7 @@
         out.writeBoolean(attempt.late());
         AttemptOutcome outcome = attempt.outcome();
         out.writeByte(PROGRESS_BY_CODE.indexOf(outcome.progress()));
-        out.writeByte(STATUS_BY_CODE.indexOf(outcome.status()));
+        out.writeByte(STATUS_BY_CODE.indexOf(wireStatus(outcome.status())));
         out.writeLong(outcome.retryAfterNs());
         out.writeDouble(outcome.headroom());
         out.writeDouble(outcome.limitPerSecond());
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -30,6 +30,7 @@
     private static final int INITIAL_IDLE_CAPACITY = 2;
 
     final IoLoop io;
+    private final LocalFailures localFailures;
     final int maxResponseBytes;
 
     /** What was read last on any of the connections; only valid until the next read. */
@@ -53,6 +54,7 @@
      */
     public EndpointConnectionPool(IoLoop io, long maxIdleNs, int maxConnections, int maxResponseBytes) {
         this.io = io;
+        this.localFailures = new LocalFailures(io.clock);
         this.maxIdleNs = maxIdleNs;
         this.maxConnections = maxConnections;
         this.maxResponseBytes = maxResponseBytes;
@@ -180,6 +182,11 @@
         halfClosed.remove(connection);
     }
 
+    /** The connects that failed on this machine. */
+    LocalFailures localFailures() {
+        return localFailures;
+    }
+
     /** A connection could not be established. */
     void connectionFailed() {
         openConnections--;
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -83,7 +83,8 @@
     private void connect() {
         InetSocketAddress address = endpoint.socketAddress();
         if (address == null || !pool.reserveConnection()) {
-            pool.io.run(() -> finish(Status.BROKEN));
+            Status failure = address == null ? Status.BROKEN : Status.LOCAL_FAILURE;
+            pool.io.run(() -> finish(failure));
             return;
         }
         setTimer(connectBy, Status.TIMED_OUT);
@@ -91,15 +92,22 @@
         connecting.addNotifier(
                 (future, attachment) -> {
                     if (future.getStatus() != IoFuture.Status.DONE) {
-                        pool.io.run(this::connectFailed);
+                        IOException cause = future.getStatus() == IoFuture.Status.FAILED ? future.getException() : null;
+                        pool.io.run(() -> connectFailed(cause));
                     }
                 },
                 null);
     }
 
-    private void connectFailed() {
+    /** {@code cause} is null where the connect was cancelled. */
+    private void connectFailed(IOException cause) {
         pool.connectionFailed();
-        finish(Status.BROKEN);
+        if (cause != null && LocalFailures.isLocal(cause)) {
+            pool.localFailures().occurred(cause);
+            finish(Status.LOCAL_FAILURE);
+        } else {
+            finish(Status.BROKEN);
+        }
     }
 
     private void connected(StreamConnection channel) {
--- a/src/main/java/elderseam/policy/AttemptResult.java
+++ b/src/main/java/elderseam/policy/AttemptResult.java
@@ -12,7 +12,9 @@
     /** The policy cancelled it. */
     CANCELLED(false),
     /** The host did not send it. */
-    NOT_SENT(true);
+    NOT_SENT(true),
+    /** The host's machine could not send it, for want of something that other attempts lack as well. */
+    LOCAL_FAILURE(true);
 
     /** True if this result proves that the destination never acted on the attempt. */
     public final boolean neverRan;
--- a/src/main/java/elderseam/policy/OutlierDetector.java
+++ b/src/main/java/elderseam/policy/OutlierDetector.java
@@ -32,7 +32,7 @@
     void onOutcome(AttemptRecord call, CompletedAttempt outcome, long now) {
         EndpointGroup group = call.group;
         group.roll(now);
-        boolean ended = outcome.result() != AttemptResult.CANCELLED && outcome.result() != AttemptResult.NOT_SENT;
+        boolean ended = outcome.result() != AttemptResult.CANCELLED && reachedEndpoint(outcome.result());
         boolean silent = call.cancelled && !context.answerLoss.present;
         if ((ended || silent) && !call.recorded) {
             call.recorded = true;
@@ -42,6 +42,11 @@
         group.rate.onReport(outcome.report(), now);
     }
 
+    /** Whether it says anything of the endpoint: a fault of this machine is not held against it. */
+    private static boolean reachedEndpoint(AttemptResult result) {
+        return result != AttemptResult.NOT_SENT && result != AttemptResult.LOCAL_FAILURE;
+    }
+
     private void record(AttemptRecord call, CompletedAttempt outcome, long now) {
         EndpointGroup group = call.group;
         AttemptResult result = outcome.result();
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -71,10 +71,10 @@
 
     /** Lets a request that is not finished wait for another attempt, until this outcome allows one. */
     void scheduleRetry(PendingRequest request, CompletedAttempt outcome, long now) {
-        if (outcome.result() != AttemptResult.FULL && outcome.result() != AttemptResult.NOT_SENT) {
-            long backoffNs = withinBudget(request, now)
-                    ? FIRST_BACKOFF_NS << Math.min(MAX_BACKOFF_DOUBLINGS, request.attempts - 1)
-                    : BACKOFF_OVER_BUDGET_NS;
+        if (outcome.result() == AttemptResult.LOCAL_FAILURE) {
+            request.notBefore = now + (long) (backoffNs(request) * context.jitter()); // loads no destination: no budget
+        } else if (outcome.result() != AttemptResult.FULL && outcome.result() != AttemptResult.NOT_SENT) {
+            long backoffNs = withinBudget(request, now) ? backoffNs(request) : BACKOFF_OVER_BUDGET_NS;
             request.notBefore = now + (long) (backoffNs * context.jitter());
         } else if (outcome.noSlot()) {
             request.notBefore = now + PolicyContext.TICK_NS;
@@ -84,6 +84,10 @@
         }
     }
 
+    private static long backoffNs(PendingRequest request) {
+        return FIRST_BACKOFF_NS << Math.min(MAX_BACKOFF_DOUBLINGS, request.attempts - 1);
+    }
+
     private boolean withinBudget(PendingRequest request, long now) {
         return context.retryRatio >= 1
                 || request.destination.retryBudget.takeRetry(now, context.retryRatio, minRetriesPerS());
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -105,6 +105,24 @@
         assertEquals(0, failed[0], "the endpoint was never asked");
     }
 
+    /** It is not given up either: it was accepted, and is tried once the journal can record that. */
+    @Test
+    void anAttemptTheJournalCouldNotRecordIsMadeLater() throws IOException {
+        FailingStore store = new FailingStore();
+        store.writesLeft = 1_000;
+        harness.dispatcher = harness.newDispatcher(new Journal(store, 1_000_000, harness.clock));
+        DispatcherHarness.listEndpoint(harness.dispatcher, ListUpdateKind.COMPLETE);
+        store.writesLeft = 1;
+        assertEquals(Optional.empty(), harness.submit("a"));
+        harness.runDueTasks();
+        assertEquals(0, harness.attempts.size(), "nothing unrecorded was sent");
+        assertEquals(List.of(), harness.completed, "and it is not given up");
+        store.writesLeft = 1_000;
+        harness.advance(1_000 * Clock.MILLISECOND_NS);
+        harness.endLast(DispatcherHarness.DELIVERED);
+        assertEquals(List.of("a DELIVERED"), harness.completed);
+    }
+
     /** A store in memory that fails once it has taken so many writes. */
     private static final class FailingStore implements JournalStore {
         private final InMemoryJournalStore memory = new InMemoryJournalStore();
--- a/src/test/java/elderseam/policy/BreakerTest.java
+++ b/src/test/java/elderseam/policy/BreakerTest.java
@@ -300,4 +300,28 @@
         assertTrue(others >= 30, others + " of the other class served there");
         assertFalse(sender.trace.stream().anyMatch(line -> line.contains("log open")), "stays closed");
     }
+
+    /**
+     * A fault of this machine is not held against an endpoint. What happened: connects that failed here, for want of
+     * ports or descriptors, opened the breaker of a sound endpoint, which then got nothing for a sleep window.
+     */
+    @Test
+    void whatThisMachineCannotSendOpensNoBreakerAndIsTriedAgain() {
+        warm();
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            ids.add(harness.submit(2, 100 + i, 1));
+        }
+        for (int round = 0; round < 4; round++) {
+            assertEquals(6, harness.answerAll(AttemptResult.LOCAL_FAILURE), "round " + round);
+            assertEquals(0, harness.inFlight().size(), "not at once: the machine lacks the same for the next");
+            for (int step = 0; step < 100 && harness.inFlight().size() < 6; step++) {
+                harness.advance(20 * MS);
+            }
+        }
+        assertEquals(6, harness.answerAll(AttemptResult.DELIVERED));
+        ids.forEach(id -> assertEquals("delivered", harness.outcome(id)));
+        harness.policy.breakers(
+                harness.now, (destination, breaker) -> assertEquals(BreakerState.CLOSED, breaker.state()));
+    }
 }
