Events: a Content-Type of separators alone is 415, and no fault of the program

What callers saw: 'Content-Type: ;' on /events answered 500. Cause: the text split at ';' has no first part. Mend: empty parts are kept, so the media type is empty and the request 415. Measured: CloudEventsSpecificationTest with two such headers.

--- a/src/main/java/elderseam/frontend/cloudevents/EventDecoder.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventDecoder.java
@@ -50,7 +50,7 @@
     DecodedRequest decode(HttpServer.Request request, boolean ruled) {
         String mediaType = request.header(CONTENT_TYPE)
                 .toLowerCase(Locale.ROOT)
-                .split(";")[0]
+                .split(";", -1)[0] // with -1 there is a first part of ";" too
                 .strip();
         return switch (mediaType) {
             case BATCH_FORMAT -> decodeBatch(request.body(), ruled);
--- a/src/test/java/elderseam/frontend/cloudevents/CloudEventsSpecificationTest.java
+++ b/src/test/java/elderseam/frontend/cloudevents/CloudEventsSpecificationTest.java
@@ -224,6 +224,8 @@
         assertInvalid(400, decode(BATCH_FORMAT, valid).events().get(0));
         assertInvalid(400, decode(EVENT_FORMAT, "[" + valid + "]").events().get(0));
         assertInvalid(415, decode("application/cloudevents+avro", "x").events().get(0));
+        assertInvalid(415, decode(";", "x").events().get(0));
+        assertInvalid(415, decode(";;charset=utf-8", "x").events().get(0));
     }
 
     /** Any value survives encoding and decoding; its header is printable ASCII without spaces, quotes or lone percents. */
