limits.memory_mb of 2048 and more no longer overflows

What operators would have seen: with 2,048 MB or more no body is read, since the room for requests is negative. Cause: a product of ints. Mend: reckoned in long and bounded. Measured: ResourceLimitsTest.

--- a/src/main/java/elderseam/frontend/platform/ResourceLimits.java
+++ b/src/main/java/elderseam/frontend/platform/ResourceLimits.java
@@ -23,7 +23,7 @@
     /** The part of the memory that requests may take while they are read. */
     private static final int REQUEST_MEMORY_DIVISOR = 32;
 
-    private static final int BYTES_PER_MIB = 1 << 20;
+    private static final long BYTES_PER_MIB = 1 << 20;
 
     /** The largest number of client connections, of all frontends: 45% of the descriptors. */
     public int clientConnections() {
@@ -38,6 +38,6 @@
 
     /** The largest size of all requests that are being read at once, over the client connections of a frontend. */
     public int requestBytes() {
-        return memoryMb * BYTES_PER_MIB / REQUEST_MEMORY_DIVISOR;
+        return (int) Math.min(Integer.MAX_VALUE, memoryMb * BYTES_PER_MIB / REQUEST_MEMORY_DIVISOR);
     }
 }
