config: PARENT is replaced in its place alone, and status makes no folder

Cause: every occurrence was replaced; the store was opened for writing. Mend: the placeholder's place alone; the folder must be there, exit 1 and its name. Measured: VersionProposalTest, CommandsTest.versionsOfAFolderThatKeepsNoneAreAnError.

--- a/src/main/java/elderseam/cli/VersionProposal.java
+++ b/src/main/java/elderseam/cli/VersionProposal.java
@@ -5,8 +5,10 @@
 
 /** Sends a proposal for a configuration version to a member, and polls until the fleet has committed or refused it. */
 final class VersionProposal {
-    /** Stands in a command for the number of the version that is the latest when it is sent. */
-    static final String PARENT = "PARENT";
+    private static final String PROPOSE = "CONFIG PROPOSE ";
+
+    /** A proposal begins so; the second word stands for the number of the version that is the latest when it is sent. */
+    static final String PROPOSE_PARENT = PROPOSE + "PARENT";
 
     private static final String STATUS_COMMAND = "CONFIG";
 
@@ -33,12 +35,18 @@
     int propose(String command) throws IOException, InterruptedException {
         ControlResponse before = member.send(STATUS_COMMAND);
         String latestVersion = before.value("latest").split(" ")[0];
-        String hash = member.send(command.replace(PARENT, latestVersion))
-                .message()
-                .replaceFirst("^asked ([0-9a-f]+);.*", "$1");
+        String hash =
+                member.send(withParent(command, latestVersion)).message().replaceFirst("^asked ([0-9a-f]+);.*", "$1");
         return awaitResult(hash, before.value("ended"));
     }
 
+    /** The number takes the placeholder's place, and that alone: a note or a path may have the same word. */
+    private static String withParent(String command, String latestVersion) {
+        return command.startsWith(PROPOSE_PARENT)
+                ? PROPOSE + latestVersion + command.substring(PROPOSE_PARENT.length())
+                : command;
+    }
+
     /** {@code endedBefore} is the proposal that had ended last before this one: it may have had the same content. */
     private int awaitResult(String hash, String endedBefore) throws IOException, InterruptedException {
         while (true) {
--- a/src/main/java/elderseam/cli/VersionsCommand.java
+++ b/src/main/java/elderseam/cli/VersionsCommand.java
@@ -64,8 +64,7 @@
         public Integer call() throws IOException, InterruptedException {
             String hash = ConfigurationVersion.shortHash(VersionContent.read(file)); // a malformed file is not sent
             Path absolute = file.toAbsolutePath().normalize();
-            String command = "CONFIG PROPOSE " + VersionProposal.PARENT + " " + hash + " " + absolute + " "
-                    + options.checkedNote();
+            String command = VersionProposal.PROPOSE_PARENT + " " + hash + " " + absolute + " " + options.checkedNote();
             return new VersionProposal(ControlClient.of(this, options.at()), out()).propose(command);
         }
     }
@@ -106,11 +105,6 @@
             return at;
         }
 
-        /** The versions in the directory, which is created where it is missing. */
-        VersionStore store() throws IOException {
-            return new VersionStore(versionsDirectory());
-        }
-
         /**
          * The versions in the directory.
          *
@@ -120,7 +114,7 @@
             if (!Files.isDirectory(versionsDirectory())) {
                 throw new IOException(folder + ": no versions are kept there");
             }
-            return store();
+            return new VersionStore(versionsDirectory());
         }
 
         private Path versionsDirectory() {
@@ -139,7 +133,7 @@
         @Override
         public Integer call() throws IOException {
             if (source.isOffline()) {
-                printStored(source.store());
+                printStored(source.existingStore());
                 return ExitCodes.OK;
             }
             for (String address : source.addresses()) {
--- a/src/test/java/elderseam/cli/CommandsTest.java
+++ b/src/test/java/elderseam/cli/CommandsTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
@@ -267,4 +268,13 @@
                 .err
                 .contains("allowed: 100"));
     }
+
+    /** A mistyped folder is an error, and stays as it was. */
+    @Test
+    void versionsOfAFolderThatKeepsNoneAreAnError(@TempDir Path folder) throws Exception {
+        Result result = run("config", "status", "--folder", folder.toString());
+        assertTrue(result.exitCode() != 0, result.out());
+        assertTrue(result.err().contains(folder + ": no versions are kept there"), result.err());
+        assertFalse(Files.exists(folder.resolve("versions")), "nothing was made there");
+    }
 }
--- a/src/test/java/elderseam/cli/VersionProposalTest.java
+++ b/src/test/java/elderseam/cli/VersionProposalTest.java
@@ -72,6 +72,18 @@
         assertEquals(List.of("CONFIG", "CONFIG PROPOSE 3 0123456789ab /a.ini why", "CONFIG", "CONFIG"), received);
     }
 
+    /** The word is the placeholder in its place alone: in a path or a note it is the operator's. */
+    @Test
+    void aPathAndANoteMayHoldTheWordOfThePlaceholder() throws Exception {
+        String before = status("3 abcdef012345", "");
+        String end = status("4 0123456789ab", "");
+        propose("CONFIG PROPOSE PARENT 0123456789ab /PARENT.ini for PARENT", before, ASKED, before, end);
+        assertEquals("CONFIG PROPOSE 3 0123456789ab /PARENT.ini for PARENT", received.get(1));
+        received.clear();
+        propose("CONFIG ROLLBACK 2 PARENT again", before, ASKED, before, end);
+        assertEquals("CONFIG ROLLBACK 2 PARENT again", received.get(1));
+    }
+
     /** What ended before the proposal is not taken for it, though the content is the same. */
     @Test
     void anEarlierProposalOfTheSameContentIsPassedOver() throws Exception {
