lab compare: the same verdict whatever the order in which runs ended

Cause: the bootstrap resamples the differences by index, and runs stand in the file in the order in which their threads ended. Mend: the differences are sorted first.

--- a/src/main/java/elderseam/testkit/lab/PairedComparison.java
+++ b/src/main/java/elderseam/testkit/lab/PairedComparison.java
@@ -38,6 +38,7 @@
         for (int i = 0; i < differences.length; i++) {
             differences[i] = b[i] - a[i];
         }
+        Arrays.sort(differences); // runs stand in a file in the order in which threads ended them: it must not matter
         double[] means = resampledMeans(differences);
         Arrays.sort(means);
         double low = means[TAIL];
@@ -59,7 +60,7 @@
     }
 
     private static double mean(double[] values) {
-        return Arrays.stream(values).average().orElse(0);
+        return Arrays.stream(values).sorted().average().orElse(0);
     }
 
     /** Whether the difference may be chance: the interval holds 0, or there are too few pairs for an interval. */
--- a/src/test/java/elderseam/testkit/lab/LabTest.java
+++ b/src/test/java/elderseam/testkit/lab/LabTest.java
@@ -110,6 +110,7 @@
         assertTrue(real.format().endsWith("more"), real.format());
         assertEquals(real, PairedComparison.of(base, more), "the resampling has a fixed seed");
 
+        assertEquals(real, PairedComparison.of(reversed(base), reversed(more)), "whatever the order of the runs");
         PairedComparison twoPairs = PairedComparison.of(new double[] {0, 0}, new double[] {1, 1});
         assertTrue(twoPairs.isNoise());
         assertThrows(IllegalArgumentException.class, () -> PairedComparison.of(base, new double[2]));
@@ -166,4 +167,12 @@
         assertTrue(page.contains("robin, seed 1"));
         assertFalse(page.contains("http://") || page.contains("https://"), "nothing is loaded");
     }
+
+    private static double[] reversed(double[] values) {
+        double[] reversed = new double[values.length];
+        for (int i = 0; i < values.length; i++) {
+            reversed[i] = values[values.length - 1 - i];
+        }
+        return reversed;
+    }
 }
