A member in doubt looks again after its interval, and not at once

Cause: the next change of a member in doubt is the end of its last confirmation, which has passed; it looked again a millisecond later, without end, and XNIO spins for such waits. Mend: VersionActivation.nextCheckNs takes only what is still to come for a reason to look earlier.

--- a/src/main/java/elderseam/app/ActiveVersion.java
+++ b/src/main/java/elderseam/app/ActiveVersion.java
@@ -67,10 +67,10 @@
         }
     }
 
-    /** When {@link #advance} or {@link #isInDoubt} changes next, in the member's nanoseconds. */
-    long nextChangeNs() {
+    /** When to look again at {@link #advance} and {@link #isInDoubt}, within the interval, in the member's nanoseconds. */
+    long nextCheckNs(long intervalNs) {
         synchronized (rule) {
-            return rule.nextChangeNs();
+            return rule.nextCheckNs(clock.now(), intervalNs);
         }
     }
 
--- a/src/main/java/elderseam/app/VersionService.java
+++ b/src/main/java/elderseam/app/VersionService.java
@@ -115,9 +115,7 @@
             wasInDoubt = inDoubt;
             logDoubt(inDoubt);
         }
-        long nowNs = clock.now();
-        long changeNs = Math.max(active.nextChangeNs(), nowNs + Clock.MILLISECOND_NS);
-        return Math.min(nowNs + CHECK_INTERVAL_NS, changeNs);
+        return active.nextCheckNs(CHECK_INTERVAL_NS);
     }
 
     private void logDoubt(boolean inDoubt) {
--- a/src/main/java/elderseam/fleet/config/VersionActivation.java
+++ b/src/main/java/elderseam/fleet/config/VersionActivation.java
@@ -81,9 +81,15 @@
         return tableTimeReceivedNs + remainingMs * NANOS_PER_MILLI;
     }
 
-    /** Returns when to look again at the latest: an effect, or the end of the last confirmation. */
-    public long nextChangeNs() {
-        return Math.min(effectNs(), confirmedUntilNs);
+    /**
+     * Returns when to look again: at the next effect, or at the end of the last confirmation, where that comes within the
+     * interval; else after the interval. What has passed already is no reason to look at once: a member in doubt would
+     * do nothing else.
+     */
+    public long nextCheckNs(long nowNs, long intervalNs) {
+        long changeNs = Math.min(effectNs(), confirmedUntilNs);
+        long checkNs = nowNs + intervalNs;
+        return changeNs > nowNs ? Math.min(checkNs, changeNs) : checkNs;
     }
 
     /** Whether a newer version may be in effect that this member does not know of. */
--- a/src/test/java/elderseam/fleet/config/VersionActivationTest.java
+++ b/src/test/java/elderseam/fleet/config/VersionActivationTest.java
@@ -46,4 +46,17 @@
         activation.onConfirmation(0, 0, accepted(0, 0), ConfigurationVersion.NONE);
         assertTrue(activation.inDoubt((long) (BOUND_MS * MS * 0.95 / 1.05) + 1));
     }
+
+    /** What happened: a member in doubt looked at once, again and again, and its I/O thread used a whole core. */
+    @Test
+    void aMemberInDoubtLooksAgainAfterTheIntervalAndNotAtOnce() {
+        VersionActivation activation =
+                new VersionActivation(ConfigurationVersion.NONE, BOUND_MS, new ClockDriftBound(0));
+        assertEquals(7 * MS + 20 * MS, activation.nextCheckNs(7 * MS, 20 * MS), "before the first confirmation");
+        activation.onConfirmation(0, 5 * MS, accepted(0, 100), ConfigurationVersion.NONE);
+        assertEquals(120 * MS, activation.nextCheckNs(100 * MS, 20 * MS));
+        assertEquals(BOUND_MS * MS, activation.nextCheckNs(990 * MS, 20 * MS), "the end of the confirmation");
+        assertEquals(1_020 * MS, activation.nextCheckNs(BOUND_MS * MS, 20 * MS), "in doubt");
+        assertEquals(9_020 * MS, activation.nextCheckNs(9_000 * MS, 20 * MS), "and still");
+    }
 }
