--- a/src/main/java/elderseam/app/ActiveVersion.java
+++ b/src/main/java/elderseam/app/ActiveVersion.java
@@ -67,7 +67,9 @@
         }
     }
 
-    /** When to look again at {@link #advance} and {@link #isInDoubt}, within the interval, in the member's nanoseconds. */
+    /**
+     * When to look again at {@link #advance} and {@link #isInDoubt}, within the interval, in the member's nanoseconds.
+     */
     long nextCheckNs(long intervalNs) {
         synchronized (rule) {
             return rule.nextCheckNs(clock.now(), intervalNs);
--- a/src/main/java/elderseam/app/OwnershipAcquisition.java
+++ b/src/main/java/elderseam/app/OwnershipAcquisition.java
@@ -42,7 +42,10 @@
 
     private static final long SEARCH_INTERVAL_MS = 20;
 
-    /** An older process that answers nothing for so long is not waited for; it transfers its work in well under a second. */
+    /**
+     * An older process that answers nothing for so long is not waited for; it transfers its work in well under a
+     * second.
+     */
     private static final long ANSWER_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
 
     private static final long WARM_UP_LIMIT_NS = 10_000 * Clock.MILLISECOND_NS;
--- a/src/main/java/elderseam/cli/VersionProposal.java
+++ b/src/main/java/elderseam/cli/VersionProposal.java
@@ -7,7 +7,9 @@
 final class VersionProposal {
     private static final String PROPOSE = "CONFIG PROPOSE ";
 
-    /** A proposal begins so; the second word stands for the number of the version that is the latest when it is sent. */
+    /**
+     * A proposal begins so; the second word stands for the number of the version that is the latest when it is sent.
+     */
     static final String PROPOSE_PARENT = PROPOSE + "PARENT";
 
     private static final String STATUS_COMMAND = "CONFIG";
--- a/src/main/java/elderseam/cli/VersionsCommand.java
+++ b/src/main/java/elderseam/cli/VersionsCommand.java
@@ -16,8 +16,8 @@
 import picocli.CommandLine.Spec;
 
 /**
- * The subcommands of {@code config} on the versions that a fleet agrees on: through a running member's control address, or
- * offline from a member's state directory.
+ * The subcommands of {@code config} on the versions that a fleet agrees on: through a running member's control
+ * address, or offline from a member's state directory.
  */
 final class VersionsCommand {
     private VersionsCommand() {}
--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -43,6 +43,8 @@
             byte[] body,
             String deduplicationKey,
             String orderKey) {
+        private static final byte[] NO_BODY = {};
+
         /** A message without a deduplication key and without an ordering key. */
         public Message(
                 String id,
@@ -74,27 +76,27 @@
 
         /** The same message with that ordering key; an empty one is none. */
         public Message withOrderKey(String newOrderKey) {
-            if (newOrderKey.equals(orderKey)) {
-                return this;
-            }
-            return new Message(
-                    id,
-                    frontend,
-                    classIndex,
-                    tenantIndex,
-                    destination,
-                    deadline,
-                    rememberUntil,
-                    resubmitted,
-                    retriesWithinKeyWindow,
-                    idempotencyKey,
-                    body,
-                    deduplicationKey,
-                    newOrderKey);
+            return newOrderKey.equals(orderKey)
+                    ? this
+                    : copy(deadline, idempotencyKey, body, deduplicationKey, newOrderKey);
         }
 
         /** The same message with that deadline. */
         Message withDeadline(long newDeadline) {
+            return copy(newDeadline, idempotencyKey, body, deduplicationKey, orderKey);
+        }
+
+        /** The same message as one that waits for another's outcome: nobody sends it, so it keeps no body. */
+        Message asDuplicate(String deduplicationKeyOfFirst) {
+            return copy(deadline, "", NO_BODY, deduplicationKeyOfFirst, orderKey);
+        }
+
+        private Message copy(
+                long newDeadline,
+                String newIdempotencyKey,
+                byte[] newBody,
+                String newDeduplicationKey,
+                String newOrderKey) {
             return new Message(
                     id,
                     frontend,
@@ -105,10 +107,10 @@
                     rememberUntil,
                     resubmitted,
                     retriesWithinKeyWindow,
-                    idempotencyKey,
-                    body,
-                    deduplicationKey,
-                    orderKey);
+                    newIdempotencyKey,
+                    newBody,
+                    newDeduplicationKey,
+                    newOrderKey);
         }
 
         /** Whether it has to keep its place among the messages of an ordering key. */
--- a/src/main/java/elderseam/core/AttemptOutcome.java
+++ b/src/main/java/elderseam/core/AttemptOutcome.java
@@ -44,8 +44,8 @@
         /** This process held the attempt back at the last moment; the endpoint was never asked. */
         NOT_STARTED,
         /**
-         * This machine could not begin it: no descriptor, port or buffer, no connection to spare, no record in the journal.
-         * The endpoint was never asked.
+         * This machine could not begin it: no descriptor, port or buffer, no connection to spare, no record in the
+         * journal. The endpoint was never asked.
          */
         LOCAL_FAILURE
     }
--- a/src/main/java/elderseam/core/Clock.java
+++ b/src/main/java/elderseam/core/Clock.java
@@ -5,9 +5,9 @@
 import java.nio.file.Path;
 
 /**
- * A monotonic clock, the wall clock, and a steady clock between them. Inside a process every time is one of {@link #now};
- * what must outlast the process is written as milliseconds of the steady clock, which no step of the wall clock moves.
- * The emulator overrides monotonic and wall clock with virtual time. Thread-safe.
+ * A monotonic clock, the wall clock, and a steady clock between them. Inside a process every time is one of {@link
+ * #now}; what must outlast the process is written as milliseconds of the steady clock, which no step of the wall
+ * clock moves. The emulator overrides monotonic and wall clock with virtual time. Thread-safe.
  */
 public class Clock {
     /** Nanoseconds in a millisecond. */
@@ -16,6 +16,7 @@
     /** An id of this boot of the machine: the monotonic clocks of all processes of one boot agree (Linux). */
     private static final Path BOOT_ID_FILE = Path.of("/proc/sys/kernel/random/boot_id");
 
+    private volatile String bootId; // null until it is read
     private boolean anchored;
     private long steadyAheadMs; // of the monotonic clock
 
@@ -29,8 +30,15 @@
         return System.currentTimeMillis();
     }
 
-    /** The id of this boot of the machine; empty where it is not known. */
+    /** The id of this boot of the machine; empty where it is not known. Read once: a process lives in one boot. */
     public String bootId() {
+        if (bootId == null) {
+            bootId = readBootId();
+        }
+        return bootId;
+    }
+
+    private static String readBootId() {
         try {
             return Files.readString(BOOT_ID_FILE).strip();
         } catch (IOException e) {
@@ -44,8 +52,8 @@
     }
 
     /**
-     * Milliseconds since the epoch as the wall clock had them when this was called first, or when {@link #continueSteady}
-     * says so, moved on by the monotonic clock.
+     * Milliseconds since the epoch as the wall clock had them when this was called first, or when {@link
+     * #continueSteady} says so, moved on by the monotonic clock.
      */
     public final synchronized long steadyMs() {
         if (!anchored) {
@@ -56,8 +64,8 @@
     }
 
     /**
-     * Continues the steady clock of an earlier process, which read {@code steadyMs} when the monotonic clock read {@code
-     * monotonicMs}; false, and nothing changes, where that was on another boot.
+     * Continues the steady clock of an earlier process, which read {@code steadyMs} when the monotonic clock read
+     * {@code monotonicMs}; false, and nothing changes, where that was on another boot.
      */
     final synchronized boolean continueSteady(String bootId, long monotonicMs, long steadyMs) {
         if (bootId.isEmpty() || !bootId.equals(bootId()) || monotonicMs > monotonicMs()) {
--- a/src/main/java/elderseam/core/DuplicateRequests.java
+++ b/src/main/java/elderseam/core/DuplicateRequests.java
@@ -9,8 +9,6 @@
  * for its outcome and share it. Confined to the event-loop thread.
  */
 final class DuplicateRequests {
-    private static final byte[] NO_BODY = {};
-
     private final Journal journal;
     private final Clock clock;
     private final EventLoop loop;
@@ -68,7 +66,7 @@
 
     /** Has a message wait for that request's outcome, journalled first; false where the journal has no capacity. */
     boolean join(ActiveRequest.Message message, ActiveRequest first) {
-        ActiveRequest.Message duplicate = withoutBody(message, first.message.deduplicationKey());
+        ActiveRequest.Message duplicate = message.asDuplicate(first.message.deduplicationKey());
         if (!journal.acceptedDuplicate(duplicate)) {
             return false;
         }
@@ -77,24 +75,6 @@
         return true;
     }
 
-    /** Nobody will send a duplicate, so its body need not be kept. */
-    private static ActiveRequest.Message withoutBody(ActiveRequest.Message message, String deduplicationKey) {
-        return new ActiveRequest.Message(
-                message.id(),
-                message.frontend(),
-                message.classIndex(),
-                message.tenantIndex(),
-                message.destination(),
-                message.deadline(),
-                message.rememberUntil(),
-                message.resubmitted(),
-                message.retriesWithinKeyWindow(),
-                "",
-                NO_BODY,
-                deduplicationKey,
-                message.orderKey());
-    }
-
     private void await(ActiveRequest.Message duplicate, ActiveRequest first) {
         index.join(duplicate, first);
         loop.at(duplicate.latestOutcome(clock.now()), () -> expire(duplicate));
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -187,8 +187,8 @@
     }
 
     /**
-     * Ends an adopted attempt of unknown outcome; its endpoint did nothing wrong, so that does not count against it. Whether it was
-     * still in flight.
+     * Ends an adopted attempt of unknown outcome; its endpoint did nothing wrong, so that does not count against it.
+     * Whether it was still in flight.
      */
     private boolean giveUp(ActiveRequest request, AttemptTracker.ActiveAttempt attempt) {
         boolean current = request.inFlightCall != null && request.lastAttempt == attempt;
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -65,7 +65,9 @@
         return true;
     }
 
-    /** Records that are appended at once: a compaction between them would drop those that the index does not hold yet. */
+    /**
+     * Records that are appended at once: a compaction between them would drop those that the index does not hold yet.
+     */
     private static byte[] joined(byte[]... records) {
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         for (byte[] record : records) {
--- a/src/main/java/elderseam/core/PeriodicTask.java
+++ b/src/main/java/elderseam/core/PeriodicTask.java
@@ -4,9 +4,9 @@
 import java.util.function.LongSupplier;
 
 /**
- * Runs a task again and again on an event loop. What a run throws is logged, and the next run comes all the same: a task
- * that schedules itself as its last step would end with the first exception, in silence. Confined to the event-loop
- * thread.
+ * Runs a task again and again on an event loop. What a run throws is logged, and the next run comes all the same: a
+ * task that schedules itself as its last step would end with the first exception, in silence. Confined to the
+ * event-loop thread.
  */
 public final class PeriodicTask {
     /** Returned by a task that is not to run again. */
--- a/src/main/java/elderseam/fleet/config/VersionActivation.java
+++ b/src/main/java/elderseam/fleet/config/VersionActivation.java
@@ -6,14 +6,15 @@
 
 /**
  * Which version a member may act on now, by its own clock. It acts on a version only while it has confirmed within the
- * bound T that nothing newer takes effect; a confirmation counts from the instant it was sent. Past that the member is in
- * doubt, and does not act on what a version that it has not heard of may contradict (docs/fleet-config.md says what that
- * is).
+ * bound T that nothing newer takes effect; a confirmation counts from the instant it was sent. Past that the member
+ * is in doubt, and does not act on what a version that it has not heard of may contradict (docs/fleet-config.md says
+ * what that is).
  *
- * <p>A version is committed for an instant of table time, which each answer to a confirmation shows. It takes effect here
- * when that instant has surely come: counted by this clock from the receipt of the latest such answer. Two members switch
- * apart by the time that an answer takes and the drift of their clocks since. Where the table time stood still for a
- * change of leader they may be apart by T at the most, because one that did not hear of that is in doubt by then.
+ * <p>A version is committed for an instant of table time, which each answer to a confirmation shows. It takes effect
+ * here when that instant has surely come: counted by this clock from the receipt of the latest such answer. Two
+ * members switch apart by the time that an answer takes and the drift of their clocks since. Where the table time
+ * stood still for a change of leader they may be apart by T at the most, because one that did not hear of that is in
+ * doubt by then.
  *
  * <p>Does no I/O; not thread-safe. Times are nanoseconds of the member's monotonic clock.
  */
@@ -82,9 +83,9 @@
     }
 
     /**
-     * Returns when to look again: at the next effect, or at the end of the last confirmation, where that comes within the
-     * interval; else after the interval. What has passed already is no reason to look at once: a member in doubt would
-     * do nothing else.
+     * Returns when to look again: at the next effect, or at the end of the last confirmation, where that comes within
+     * the interval; else after the interval. What has passed already is no reason to look at once: a member in doubt
+     * would do nothing else.
      */
     public long nextCheckNs(long nowNs, long intervalNs) {
         long changeNs = Math.min(effectNs(), confirmedUntilNs);
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -29,8 +29,9 @@
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 
 /**
- * One member of a fleet's lease group: a Ratis server over TCP with its log in the member's directory, and a client that
- * sends requests to the group. The group's id is derived from its name, so the members agree on it without coordination.
+ * One member of a fleet's lease group: a Ratis server over TCP with its log in the member's directory, and a client
+ * that sends requests to the group. The group's id is derived from its name, so the members agree on it without
+ * coordination.
  *
  * <p>Requests are sent in order by a thread of the group's own; any thread may submit them. A request that the group
  * could not decide completes exceptionally with a {@link LeaseGroupException}. The caller then proceeds as if it was
@@ -172,8 +173,8 @@
     }
 
     /**
-     * Publishes a value of at most {@link LeaseTable#MAX_VALUE_CHARS} characters to every member, as the holder by {@code
-     * token}. Throws {@link IllegalArgumentException} for a longer value.
+     * Publishes a value of at most {@link LeaseTable#MAX_VALUE_CHARS} characters to every member, as the holder by
+     * {@code token}. Throws {@link IllegalArgumentException} for a longer value.
      */
     public CompletableFuture<LeaseTable.Outcome> publish(String lease, long token, String value) {
         return submit(new LeaseTable.Command(LeaseTable.Operation.PUBLISH, lease, holderId, token, 0, 0, value));
@@ -196,8 +197,9 @@
     }
 
     /**
-     * Carries out a request on the request thread. It is answered within the limit: the engine may stand in a request for
-     * longer, and who waits for an answer must not stand with it. A request that begins after its limit is not sent.
+     * Carries out a request on the request thread. It is answered within the limit: the engine may stand in a request
+     * for longer, and who waits for an answer must not stand with it. A request that begins after its limit is not
+     * sent.
      */
     private <T> CompletableFuture<T> request(long limitS, Supplier<T> request) {
         CompletableFuture<T> answer = new CompletableFuture<>();
@@ -250,7 +252,10 @@
         return stateMachine.versions();
     }
 
-    /** Stops the request thread, the client and the server; requests that wait complete exceptionally within their limit. */
+    /**
+     * Stops the request thread, the client and the server; requests that wait complete exceptionally within their
+     * limit.
+     */
     @Override
     public void close() throws IOException {
         requestExecutor.shutdownNow();
--- a/src/main/java/elderseam/fleet/lease/LeaseRpc.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseRpc.java
@@ -33,12 +33,13 @@
 import org.apache.ratis.statemachine.StateMachine;
 
 /**
- * Apache Ratis over Netty, without a deadlock of Ratis 3.1.3. A leader that receives a vote request and finds that it has lost its
- * majority steps down while it holds the server's monitor, and waits there, without a limit, for its log appenders to end
- * ({@code RaftServerImpl.requestVote}, {@code LeaderStateImpl.stepDown}). An appender that has just been answered by a follower of a
- * higher term enters the same monitor ({@link LogAppender#onFollowerTerm}), so neither goes on, and the member answers no other
- * member until it is restarted. Here each appender enters a monitor of its own instead. It needs no other: what it does there is to
- * read the term and to queue an event, which the leader's own thread handles under the server's monitor.
+ * Apache Ratis over Netty, without a deadlock of Ratis 3.1.3. A leader that receives a vote request and finds that it
+ * has lost its majority steps down while it holds the server's monitor, and waits there, without a limit, for its log
+ * appenders to end ({@code RaftServerImpl.requestVote}, {@code LeaderStateImpl.stepDown}). An appender that has just
+ * been answered by a follower of a higher term enters the same monitor ({@link LogAppender#onFollowerTerm}), so
+ * neither goes on, and the member answers no other member until it is restarted. Here each appender enters a monitor
+ * of its own instead. It needs no other: what it does there is to read the term and to queue an event, which the
+ * leader's own thread handles under the server's monitor.
  *
  * <p>The answers between servers are set right by {@link LeaseServerRpc}.
  *
--- a/src/main/java/elderseam/fleet/lease/LeaseServerRpc.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseServerRpc.java
@@ -30,10 +30,11 @@
  *
  * <p><b>What a heartbeat's answer shows.</b> A follower answers a heartbeat with the next index of its whole log
  * ({@code RaftServerImpl.appendEntriesAsync}), and the log appender that Netty uses takes all before that index for
- * matched ({@code LogAppenderDefault.handleReply}). A member that led in an earlier term may have entries behind its last matched
- * one that the group never agreed on; the new leader then counts them as its own, and goes back and forth between two indices that
- * the member refuses, for as long as it leads. A heartbeat proves no more than that the entry it names is there, so the answer is
- * cut to that; one that names none proves nothing, and its answer is taken as a refusal.
+ * matched ({@code LogAppenderDefault.handleReply}). A member that led in an earlier term may have entries behind its
+ * last matched one that the group never agreed on; the new leader then counts them as its own, and goes back and
+ * forth between two indices that the member refuses, for as long as it leads. A heartbeat proves no more than that
+ * the entry it names is there, so the answer is cut to that; one that names none proves nothing, and its answer is
+ * taken as a refusal.
  *
  * <p>Each answer is counted by {@link FollowerRefusals}. Thread-safe: each log appender calls on a thread of its own.
  *
--- a/src/main/java/elderseam/frontend/cloudevents/EventDecoder.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventDecoder.java
@@ -21,8 +21,8 @@
 import java.util.function.Supplier;
 
 /**
- * Reads the events of HTTP requests, in the three modes of the HTTP binding: binary, structured and batched. An event is
- * decoded once, into the message that carries it on. Confined to the I/O thread.
+ * Reads the events of HTTP requests, in the three modes of the HTTP binding: binary, structured and batched. An event
+ * is decoded once, into the message that carries it on. Confined to the I/O thread.
  */
 final class EventDecoder {
     static final int MAX_BATCH_BYTES = 256 << 10;
--- a/src/main/java/elderseam/frontend/platform/ResourceLimits.java
+++ b/src/main/java/elderseam/frontend/platform/ResourceLimits.java
@@ -1,8 +1,8 @@
 package elderseam.frontend.platform;
 
 /**
- * What the process may use, and how its descriptors are divided: the JVM's own files, client connections (the platform's
- * clients alone need a third of all), a few connections to the platform, and what is left for endpoints.
+ * What the process may use, and how its descriptors are divided: the JVM's own files, client connections (the
+ * platform's clients alone need a third of all), a few connections to the platform, and what is left for endpoints.
  *
  * @param diskBytes the size of everything in the state directory
  * @param descriptors the number of open descriptors, sockets and files
--- a/src/main/java/elderseam/gossip/transport/GossipTransport.java
+++ b/src/main/java/elderseam/gossip/transport/GossipTransport.java
@@ -32,9 +32,9 @@
 import java.util.function.Supplier;
 
 /**
- * One member on its sockets: passes what arrives through the {@link PacketAuthenticator} to the {@link GossipAgent}, and signs
- * and sends what the agent has to send. Four times a second the agent looks at the own circuit breakers. Confined to the I/O
- * thread.
+ * One member on its sockets: passes what arrives through the {@link PacketAuthenticator} to the {@link GossipAgent},
+ * and signs and sends what the agent has to send. Four times a second the agent looks at the own circuit breakers.
+ * Confined to the I/O thread.
  */
 public final class GossipTransport {
     /**
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -218,9 +218,9 @@
     }
 
     /**
-     * Accepts no new connections; those that are open stay open. Who has connected by now is accepted: closing the socket
-     * would reset it, with a request that may be on its way. (TLS is accepted on another thread of XNIO's, where one that
-     * has just connected may still be reset.)
+     * Accepts no new connections; those that are open stay open. Who has connected by now is accepted: closing the
+     * socket would reset it, with a request that may be on its way. (TLS is accepted on another thread of XNIO's,
+     * where one that has just connected may still be reset.)
      */
     public void stopAccepting() {
         if (listener != null && inheritedSocket != null) {
--- a/src/main/java/elderseam/testkit/lab/PairedComparison.java
+++ b/src/main/java/elderseam/testkit/lab/PairedComparison.java
@@ -6,9 +6,9 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * The paired difference of a figure over the same seeds on two sides, with a 95% confidence interval by the percentile bootstrap
- * (Efron, "Bootstrap methods: another look at the jackknife", 1979). The resampling has a fixed seed, so that the same values give the
- * same interval.
+ * The paired difference of a figure over the same seeds on two sides, with a 95% confidence interval by the
+ * percentile bootstrap (Efron, "Bootstrap methods: another look at the jackknife", 1979). The resampling has a fixed
+ * seed, so that the same values give the same interval.
  *
  * @param pairs how many pairs were compared
  * @param difference mean of B - A
--- a/src/main/java/org/xnio/nio/IoThreadListener.java
+++ b/src/main/java/org/xnio/nio/IoThreadListener.java
@@ -16,10 +16,10 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Accepts connections from a listening socket on the I/O thread itself. XNIO's own servers accept on another thread, which
- * hands connections over: whoever stops such a server can't know whether that thread has yet to accept one, and closing
- * the socket resets it together with the request that it carries. XNIO also creates connections by classes that only
- * this package sees, hence the package. Confined to the I/O thread.
+ * Accepts connections from a listening socket on the I/O thread itself. XNIO's own servers accept on another thread,
+ * which hands connections over: whoever stops such a server can't know whether that thread has yet to accept one, and
+ * closing the socket resets it together with the request that it carries. XNIO also creates connections by classes
+ * that only this package sees, hence the package. Confined to the I/O thread.
  */
 public final class IoThreadListener extends NioHandle {
     private static final EventLogger LOG = EventLogger.of(IoThreadListener.class);
