--- a/src/main/java/elderseam/policy/LoadShedder.java
+++ b/src/main/java/elderseam/policy/LoadShedder.java
@@ -15,6 +15,11 @@
     private static final double BROKEN_PROMISE_COST = 0.3; // part of its weight that giving up an accepted one costs,
     private static final double BROKEN_PROMISE_TIME = 0.3; // while more than this part of its time is left
 
+    /** What may be rejected goes before what would fail: the client of the former may come again. */
+    private static final Comparator<PendingRequest> SHED_FIRST = Comparator.<PendingRequest, Boolean>comparing(
+                    request -> !RetryPolicy.mayReject(request))
+            .thenComparingDouble(request -> request.priority);
+
     private final PolicyContext context;
 
     LoadShedder(PolicyContext context) {
@@ -89,9 +94,7 @@
             for (PendingRequest request : from.waiting) {
                 request.priority = priority(request, now, brokenPromiseCost(request, now));
             }
-            PendingRequest least =
-                    Collections.min(from.waiting, Comparator.comparingDouble(request -> request.priority));
-            giveUp(least, now, GiveUpReason.SHED);
+            giveUp(Collections.min(from.waiting, SHED_FIRST), now, GiveUpReason.SHED);
         }
     }
 
--- a/src/test/java/elderseam/policy/LoadShedderTest.java
+++ b/src/test/java/elderseam/policy/LoadShedderTest.java
@@ -70,4 +70,14 @@
         shedder.shed(NOW);
         assertEquals(List.of("reject r1 1000 ms"), parts.actions);
     }
+
+    /** A keyed request that may have run can only fail: its client hears that no more can be done, and does not come again. */
+    @Test
+    void whatCanBeRejectedIsShedBeforeWhatWouldFail() {
+        parts.waiting(1, -1, 1).mayHaveRun = true;
+        parts.waiting(0, -1, 3);
+        parts.waiting(0, -1, 2);
+        shedder.shed(NOW);
+        assertEquals(List.of("reject r2 1000 ms"), parts.actions);
+    }
 }
