--- a/src/main/java/elderseam/core/JournalLog.java
+++ b/src/main/java/elderseam/core/JournalLog.java
@@ -72,8 +72,11 @@
         return false;
     }
 
-    /** Writes what is owed, in its order; whether nothing is owed any more. */
+    /** Writes what is owed, in its order; false where some of it could not be written and is to be tried again. */
     boolean writeOwed() {
+        if (suspended) {
+            return true; // the file is another process's; resume writes all that is known
+        }
         while (!owed.isEmpty()) {
             if (!write(owed.peek())) {
                 return false;
@@ -180,5 +183,8 @@
     void resume() {
         suspended = false;
         rewrite();
+        if (!owed.isEmpty()) {
+            onOwed.run();
+        }
     }
 }
--- a/src/test/java/elderseam/core/FailingDiskTest.java
+++ b/src/test/java/elderseam/core/FailingDiskTest.java
@@ -145,4 +145,22 @@
         assertEquals(0, journal.owedRecords());
         assertEquals(Optional.of(FinalOutcome.DELIVERED), afterAKill().outcome("m"));
     }
+
+    /** The file is another process's from a handover on: nothing that is owed is written into it. */
+    @Test
+    void nothingIsWrittenWhileAnotherProcessOwnsTheFile() throws IOException {
+        harness.submit("m");
+        failing = true;
+        harness.endLast(DispatcherHarness.DELIVERED);
+        journal.suspend();
+        failing = false;
+        long length = bytes.length();
+        runTimers();
+        assertEquals(length, bytes.length());
+        failing = true;
+        journal.resume(); // the disk fails again, so that the file can't be replaced
+        failing = false;
+        runTimers();
+        assertEquals(Optional.of(FinalOutcome.DELIVERED), afterAKill().outcome("m"));
+    }
 }
