Scenario tests: a timeline on one clock where a step fails, and pauses before any step

Change: ScenarioTimeline holds steps, log lines and what each stand-in saw, on one clock, and is printed where a step fails. ScenarioPause stops the program before one step for a set time (-Dscenario.pauseStep=N -Dscenario.pauseMs=MS); -Dscenario.requestLog=debug adds the program's log of single requests. No step, check or time of a test changes.

--- a/src/test/java/elderseam/scenario/ClientConnections.java
+++ b/src/test/java/elderseam/scenario/ClientConnections.java
@@ -18,10 +18,12 @@
     }
 
     private final Addresses addresses;
+    private final ScenarioTimeline timeline;
     private final Map<String, RawHttpSocket.Link> links = new HashMap<>();
 
-    ClientConnections(Addresses addresses) {
+    ClientConnections(Addresses addresses, ScenarioTimeline timeline) {
         this.addresses = addresses;
+        this.timeline = timeline;
     }
 
     /** Forgets all connections, which are left as they are. */
@@ -49,7 +51,7 @@
         if (link == null) {
             String[] hostAndPort = addresses.of(client).split(":");
             Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]));
-            link = new RawHttpSocket.Link(socket, message -> {});
+            link = new RawHttpSocket.Link(socket, message -> {}, event -> timeline.record(client, event));
             links.put(client, link);
         }
         return link;
--- a/src/test/java/elderseam/scenario/DispatcherLauncher.java
+++ b/src/test/java/elderseam/scenario/DispatcherLauncher.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
 /** Writes the configuration of a scenario's program and starts processes of it, as set for the next start. */
@@ -12,6 +13,9 @@
     /** The most open files that a process may have. */
     private static final int FILE_LIMIT = 256;
 
+    /** {@code debug}: the program logs each step of a request. */
+    private static final String REQUEST_LOG_LEVEL = System.getProperty("scenario.requestLog", "info");
+
     private static final String ANY_PORT = "127.0.0.1:0";
     private static final String LISTED_STATE = " SERVING";
 
@@ -91,8 +95,8 @@
         return folder.resolve("state");
     }
 
-    /** Writes the configuration and starts a process. */
-    DispatcherProcess launch(String platformAddress) throws IOException {
+    /** Writes the configuration and starts a process. {@code logObserver}: takes each line of its log. */
+    DispatcherProcess launch(String platformAddress, Consumer<String> logObserver) throws IOException {
         configure(platformAddress);
         Path settingsFile = folder.resolve("elderseam.ini");
         Files.writeString(settingsFile, "[events]\nlisten = " + eventsAddress + "\nremember_s = 60\n" + settingsLines);
@@ -106,6 +110,7 @@
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-Xmx64m",
+                "-Dorg.slf4j.simpleLogger.log.elderseam.core.RequestLog=" + REQUEST_LOG_LEVEL,
                 "-cp",
                 System.getProperty("java.class.path"),
                 "elderseam.Main",
@@ -120,7 +125,7 @@
         if (withControl) {
             environment.put("RELAY_CONTROL", ANY_PORT);
         }
-        return new DispatcherProcess(builder.redirectErrorStream(true).start());
+        return new DispatcherProcess(builder.redirectErrorStream(true).start(), logObserver);
     }
 
     private Path configurationFile() {
--- a/src/test/java/elderseam/scenario/DispatcherProcess.java
+++ b/src/test/java/elderseam/scenario/DispatcherProcess.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /** One process of the program in a scenario, its log, and what the log told so far. */
@@ -34,11 +35,18 @@
     private final Process process;
     private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private final Map<Milestone, CompletableFuture<String>> milestones = new EnumMap<>(Milestone.class);
+    private final Consumer<String> observer;
+    private volatile boolean pausedByScript;
     private String clientAddress; // by the log's reader alone
 
-    /** Takes over a process that was started with its error output in its output, and reads its log. */
-    DispatcherProcess(Process process) {
+    /**
+     * Takes over a process that was started with its error output in its output, and reads its log.
+     *
+     * @param observer takes each line of its log
+     */
+    DispatcherProcess(Process process, Consumer<String> observer) {
         this.process = process;
+        this.observer = observer;
         for (Milestone milestone : Milestone.values()) {
             milestones.put(milestone, new CompletableFuture<>());
         }
@@ -59,6 +67,7 @@
 
     private void readLine(String line) {
         System.out.println("  | " + line);
+        observer.accept(line);
         log.add(line);
         LogLine logged = LogLine.parse(line).orElse(null);
         if (logged == null) {
@@ -132,6 +141,27 @@
         }
     }
 
+    /** Stops it until {@link #resumeByScript}. */
+    void pauseByScript() throws IOException, InterruptedException {
+        pausedByScript = true;
+        pause();
+    }
+
+    /** Lets it go on. */
+    void resumeByScript() throws IOException, InterruptedException {
+        pausedByScript = false;
+        signal("CONT");
+    }
+
+    /** Whether a step of the script has stopped it. */
+    boolean isPausedByScript() {
+        return pausedByScript;
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/test/java/elderseam/scenario/FakeEndpoint.java
+++ b/src/test/java/elderseam/scenario/FakeEndpoint.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** An upstream host of a scenario: it takes requests, and answers as the steps say. */
 final class FakeEndpoint implements AutoCloseable {
@@ -26,11 +27,14 @@
             new ArrayList<>(); // also guards the hand-over of a link to its reader
     private final BlockingQueue<Socket> unreadSockets = new LinkedBlockingQueue<>();
     private final ServerSocket server;
+    private final Consumer<String> observer;
     private RawHttpSocket.Link current; // of the request last expected
     private Socket begunSocket; // of which one byte has been read
     private volatile boolean readsNothing;
 
-    FakeEndpoint() throws IOException {
+    /** Listens at an address of its own. {@code observer}: told in words what it sees. */
+    FakeEndpoint(Consumer<String> observer) throws IOException {
+        this.observer = observer;
         server = RawHttpSocket.listen(RawHttpSocket.own(), 0, socket -> {
             if (readsNothing) {
                 unreadSockets.add(socket);
@@ -54,11 +58,14 @@
     private synchronized void read(Socket socket) {
         RawHttpSocket.Link[] link = new RawHttpSocket.Link[1];
         synchronized (links) {
-            link[0] = new RawHttpSocket.Link(socket, message -> {
-                synchronized (links) {
-                    requests.add(new Request(link[0], message));
-                }
-            });
+            link[0] = new RawHttpSocket.Link(
+                    socket,
+                    message -> {
+                        synchronized (links) {
+                            requests.add(new Request(link[0], message));
+                        }
+                    },
+                    observer);
             links.add(link[0]);
         }
     }
--- a/src/test/java/elderseam/scenario/FakePlatform.java
+++ b/src/test/java/elderseam/scenario/FakePlatform.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -31,15 +32,18 @@
     private volatile EndpointListUpdates updates = new EndpointListUpdates();
     private volatile long lastAnswerNs = System.nanoTime();
     private volatile boolean indented;
+    private final Consumer<String> observer;
     private ServerSocket server;
 
     /**
      * Listens at an address of its own.
      *
      * @param listEntry makes the JSON of a list's entry from a change, {@code NAME STATE}
+     * @param observer told in words what it sees
      */
-    FakePlatform(UnaryOperator<String> listEntry) throws IOException {
+    FakePlatform(UnaryOperator<String> listEntry, Consumer<String> observer) throws IOException {
         this.listEntry = listEntry;
+        this.observer = observer;
         listen(0);
     }
 
@@ -47,7 +51,7 @@
         server = RawHttpSocket.listen(address, port, socket -> {
             RawHttpSocket.Link[] link = new RawHttpSocket.Link[1];
             synchronized (links) {
-                link[0] = new RawHttpSocket.Link(socket, message -> answerInBackground(link, message));
+                link[0] = new RawHttpSocket.Link(socket, message -> answerInBackground(link, message), observer);
                 links.add(link[0]);
             }
         });
--- a/src/test/java/elderseam/scenario/RawHttpSocket.java
+++ b/src/test/java/elderseam/scenario/RawHttpSocket.java
@@ -29,19 +29,30 @@
         final Socket socket;
         final BlockingQueue<String> read = new LinkedBlockingQueue<>();
         volatile boolean reset; // it did not end in order
+        private final Consumer<String> observer;
 
-        Link(Socket socket, Consumer<String> also) {
+        /**
+         * Reads a connection on a thread of its own.
+         *
+         * @param also takes each message
+         * @param observer is told in words what happens on the connection
+         */
+        Link(Socket socket, Consumer<String> also, Consumer<String> observer) {
             this.socket = socket;
+            this.observer = event -> observer.accept("port " + socket.getPort() + " " + event);
+            this.observer.accept("connected");
             Thread t = new Thread(() -> {
                 try { // not closed at its end: the other side may have ended its sending alone
                     InputStream in = new BufferedInputStream(socket.getInputStream());
                     for (String m = message(in); m != null; m = message(in)) {
+                        this.observer.accept("read " + m);
                         read.add(m);
                         also.accept(m);
                     }
                 } catch (IOException e) {
                     reset = true; // as good as an end, unless it is asked for
                 }
+                this.observer.accept(reset ? "reset" : "ended by the other side");
                 read.add(ENDED);
             });
             t.setDaemon(true);
@@ -49,6 +60,7 @@
         }
 
         void write(String text) throws IOException {
+            observer.accept("writes " + text);
             socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
 
@@ -58,6 +70,7 @@
         }
 
         void reset() throws IOException {
+            observer.accept("is reset from this side");
             if (!socket.isClosed()) {
                 socket.setSoLinger(true, 0);
             }
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -53,13 +53,16 @@
     private static final long ANSWER_LIMIT_NS = 3_000_000_000L; // 1 s on its own cores: the bench sees to that
     private static final String INFO_PREFIX = "edge_relay.";
 
+    private final ScenarioTimeline timeline = new ScenarioTimeline();
+    private final ScenarioPause pause = ScenarioPause.fromSystemProperties();
     private final DispatcherLauncher launcher;
     private final FakePlatform platform;
-    private final ClientConnections clients = new ClientConnections(this::addressFor);
+    private final ClientConnections clients = new ClientConnections(this::addressFor, timeline);
     private final Map<String, FakeEndpoint> endpoints = new HashMap<>();
     private final Map<String, ServerSocket> endpointServers = new ConcurrentHashMap<>(); // served by the test itself
     private volatile DispatcherProcess program;
     private DispatcherProcess older;
+    private int steps;
 
     Scenario(Path folder) throws IOException {
         this(folder, DEFAULT_DISK_MEGABYTES);
@@ -67,9 +70,9 @@
 
     Scenario(Path folder, long diskMegabytes) throws IOException {
         for (String name : List.of("h1", "h2", "h3")) {
-            endpoints.put(name, new FakeEndpoint());
+            endpoints.put(name, new FakeEndpoint(event -> timeline.record(name, event)));
         }
-        platform = new FakePlatform(this::listEntry);
+        platform = new FakePlatform(this::listEntry, event -> timeline.record("platform", event));
         launcher = new DispatcherLauncher(folder, diskMegabytes, this::listEntry);
     }
 
@@ -100,7 +103,7 @@
     /** Starts the program, which need not come to serve. */
     void launch() throws IOException {
         clients.clear();
-        program = launcher.launch(platform.address());
+        program = launcher.launch(platform.address(), line -> timeline.record("program", line));
     }
 
     /** Runs the steps of a script. */
@@ -115,8 +118,13 @@
     private void runLine(String line) {
         String[] words = line.split(" ", 3);
         try {
+            steps++;
+            timeline.record("step " + steps, line);
+            pause.beforeStep(steps, program, timeline);
             step(words[0], words[1], words.length > 2 ? words[2] : "");
         } catch (AssertionError | Exception e) { // whatever fails, the report names the step
+            timeline.record("failed", String.valueOf(e.getMessage()));
+            System.out.println(timeline.text());
             throw new AssertionError("at: " + line + ": " + e.getMessage(), e);
         }
     }
@@ -144,8 +152,8 @@
                 program.signal("HUP");
             }
             case "expect" -> program.expectLogLine(words);
-            case "pause" -> program.pause();
-            case "resume" -> program.signal("CONT");
+            case "pause" -> program.pauseByScript();
+            case "resume" -> program.resumeByScript();
             default -> awaitProgram(verb, words);
         }
     }
@@ -172,7 +180,7 @@
     /** Starts a process that takes over from the present one, with which clients keep their connections. */
     private void startBeside() throws IOException {
         older = program;
-        program = launcher.launch(platform.address());
+        program = launcher.launch(platform.address(), line -> timeline.record("program", line));
         program.await(Milestone.CLIENTS_LISTENING);
     }
 
