--- a/src/main/java/elderseam/testkit/gossip/SimulatedService.java
+++ b/src/main/java/elderseam/testkit/gossip/SimulatedService.java
@@ -57,13 +57,33 @@
     /** The same for the others. */
     private static final double RARE_CAPACITY = 1;
 
+    /** What dispatchers that lie claim of a destination besides that it is down. */
+    public enum Evidence {
+        /** Many calls, all of which failed. */
+        FAILED_CALLS(100),
+        /** No calls: the same reports at the same times, but without any weight for whoever receives them. */
+        NONE(0);
+
+        private final int failedCalls;
+
+        Evidence(int failedCalls) {
+            this.failedCalls = failedCalls;
+        }
+    }
+
     /**
-     * Runs a trial.
+     * Runs a trial whose liars claim that their calls failed.
      *
      * @param loss the share of gossip datagrams that are lost; a tenth of it comes twice
      * @throws IllegalArgumentException if a number of dispatchers is out of its bounds
      */
     public static SimulatedService run(int instances, double loss, int liars, boolean gossip, long seed) {
+        return run(instances, loss, liars, Evidence.FAILED_CALLS, gossip, seed);
+    }
+
+    /** Runs a trial with that evidence in what liars report; see {@link #run(int, double, int, boolean, long)}. */
+    public static SimulatedService run(
+            int instances, double loss, int liars, Evidence evidence, boolean gossip, long seed) {
         checkBounds(instances, liars);
         VirtualTime time = new VirtualTime();
         SplittableRandom seeds = new SplittableRandom(seed);
@@ -83,7 +103,7 @@
             if (gossip) {
                 boolean lies = i < liars;
                 boolean alternates = i % 2 == 1;
-                fleet.attach(name, lies ? new Liar(time, destinations.keySet(), alternates) : dispatcher);
+                fleet.attach(name, lies ? new Liar(time, destinations.keySet(), alternates, evidence) : dispatcher);
             }
         }
         fleet.advance(TRIAL_NS);
@@ -172,9 +192,9 @@
     }
 
     /** The gossip of a dispatcher that reports every destination as down, always or in every other period. */
-    private record Liar(VirtualTime time, Iterable<Long> destinations, boolean alternates) implements BreakerExchange {
+    private record Liar(VirtualTime time, Iterable<Long> destinations, boolean alternates, Evidence evidence)
+            implements BreakerExchange {
         private static final int RETRY_AFTER_MS = 10_000;
-        private static final int FAILED_CALLS = 100;
 
         @Override
         public List<OwnBreaker> ownBreakers() {
@@ -182,7 +202,8 @@
             HealthReport.State state = pauses ? HealthReport.State.CLOSED : HealthReport.State.OPEN;
             List<OwnBreaker> breakers = new ArrayList<>();
             for (long destination : destinations) {
-                breakers.add(new OwnBreaker(destination, state, RETRY_AFTER_MS, FAILED_CALLS, FAILED_CALLS));
+                breakers.add(
+                        new OwnBreaker(destination, state, RETRY_AFTER_MS, evidence.failedCalls, evidence.failedCalls));
             }
             return breakers;
         }
