Order trial: what the log tells of a violation, on the clock of the run

Cause: a violation was printed alone.

Change: ProcessLog stamps each line of the program's log with the run's clock and, where a rule was broken, prints the lines of the messages concerned, the stalls of the program and the signals. ObserverStalls logs when the process that plays clients and endpoints was itself not scheduled for 40 ms or more.

--- a/src/main/java/elderseam/testkit/ordering/OrderChecker.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderChecker.java
@@ -4,8 +4,10 @@
 import elderseam.testkit.ordering.OrderHistory.CallEnd;
 import elderseam.testkit.ordering.OrderHistory.Message;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * Checks a finished history: the messages of a key are called one at a time in the order in which they were handed in, a
@@ -25,6 +27,7 @@
     private final RestartWindows restarts;
     private final long origin;
     private final List<String> violations = new ArrayList<>();
+    private final Set<String> offendingMessages = new LinkedHashSet<>();
 
     /**
      * @param keyRestNs how long a key rests after a call of unknown end
@@ -44,6 +47,11 @@
         return violations;
     }
 
+    /** The ids of the messages that broke a rule in {@link #check}, and of those that they met. */
+    Set<String> offendingMessages() {
+        return offendingMessages;
+    }
+
     private void checkKey(List<Message> handedIn) {
         List<Message> accepted =
                 handedIn.stream().filter(message -> message.accepted).toList();
@@ -59,6 +67,7 @@
 
     private void checkBefore(Message earlier, Message message, Call call) {
         if (earlier.overAt() > call.start) {
+            offendingMessages.add(earlier.id);
             report("out of turn", message, call.start, earlier.id + " of " + state(earlier) + " was not over");
         }
     }
@@ -69,9 +78,11 @@
                 continue;
             }
             if (before.end > call.start) {
+                offendingMessages.add(other.id);
                 report("overlap", message, call.start, other.id + " was still called");
             } else if (before.how == CallEnd.BROKEN && call.start - before.end < keyRestNs) {
                 long restedMs = (call.start - before.end) / MILLISECOND_NS;
+                offendingMessages.add(other.id);
                 report("not rested", message, call.start, restedMs + " ms after " + other.id + " broke off");
             }
         }
@@ -105,6 +116,7 @@
     }
 
     private void report(String rule, Message message, long time, String detail) {
+        offendingMessages.add(message.id);
         violations.add(
                 rule + " at " + seconds(time) + " s: key " + message.key + ", message " + message.id + ": " + detail);
     }
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -34,6 +34,7 @@
             OrderTrial.Result result = play(own, seed);
             System.out.println("seed " + seed + " " + actions(seed) + " " + result);
             result.violations().stream().limit(10).forEach(violation -> System.out.println("  " + violation));
+            result.evidence().forEach(line -> System.out.println("    " + line));
             broken += result.violations().isEmpty() ? 0 : 1;
         }
         System.out.println((last - first + 1) + " seeds, " + broken + " with violations");
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -84,8 +84,13 @@
             int notificationDelayMs,
             double refusedNotificationRatio) {}
 
-    /** What a run came to. */
-    public record Result(List<String> violations, int handedIn, int accepted, int delivered, int notified) {
+    /**
+     * What a run came to.
+     *
+     * @param evidence what the log tells of the messages that broke a rule, and of stalls; empty if none did
+     */
+    public record Result(
+            List<String> violations, List<String> evidence, int handedIn, int accepted, int delivered, int notified) {
         @Override
         public String toString() {
             return "handed_in=" + handedIn + " accepted=" + accepted + " delivered=" + delivered + " notified="
@@ -93,7 +98,6 @@
         }
     }
 
-    private final Path folder;
     private final SplittableRandom random;
     private final OrderHistory history = new OrderHistory();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -105,11 +109,14 @@
     private final Path settingsFile;
     private final long start = System.nanoTime();
     private final RestartWindows restarts = new RestartWindows();
+    private final ProcessLog log;
     private ServedProcess process;
 
     private OrderTrial(Path folder, long seed, Surroundings surroundings) throws IOException, InterruptedException {
-        this.folder = folder;
         this.random = new SplittableRandom(seed);
+        log = new ProcessLog(folder.resolve("dispatcher.log"), start);
+        open.add(log);
+        open.add(new ObserverStalls(log));
         InetAddress own = InetAddress.getByAddress(new byte[] {
             127, (byte) (100 + ProcessHandle.current().pid() % 100), (byte) random.nextInt(250), 1
         });
@@ -199,7 +206,7 @@
     }
 
     private ServedProcess startProcess() throws IOException {
-        return ServedProcess.start(folder, settingsFile, variables);
+        return ServedProcess.start(log, settingsFile, variables);
     }
 
     private void startClients(Load load) {
@@ -216,6 +223,7 @@
 
     private void carryOut(Action action) throws IOException, InterruptedException {
         long signalled = System.nanoTime();
+        log.append("action " + action);
         boolean restarted = doTo(action);
         if (restarted || action == Action.PAUSE || action == Action.HAND_OVER) {
             restarts.add(signalled, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_GRACE_MS));
@@ -306,8 +314,11 @@
                                 Integer::sum);
                     }
                 }));
+        List<String> violations = checker.check(history);
+        List<String> evidence = violations.isEmpty() ? List.of() : log.linesAbout(checker.offendingMessages());
         return new Result(
-                checker.check(history),
+                violations,
+                evidence,
                 counts.getOrDefault("handed in", 0),
                 counts.getOrDefault("accepted", 0),
                 counts.getOrDefault("delivered", 0),
--- a/src/main/java/elderseam/testkit/ordering/ServedProcess.java
+++ b/src/main/java/elderseam/testkit/ordering/ServedProcess.java
@@ -1,6 +1,5 @@
 package elderseam.testkit.ordering;
 
-import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -24,10 +23,10 @@
     /**
      * Starts a process.
      *
-     * @param folder takes its log, and its settings are read there
+     * @param log takes its output
      * @param variables the RELAY variables of its environment
      */
-    static ServedProcess start(Path folder, Path settings, Map<String, String> variables) throws IOException {
+    static ServedProcess start(ProcessLog log, Path settings, Map<String, String> variables) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
@@ -42,9 +41,9 @@
                 settings.toString());
         builder.environment().keySet().removeIf(variable -> variable.startsWith("RELAY_"));
         builder.environment().putAll(variables);
-        File log = folder.resolve("dispatcher.log").toFile();
-        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-        return new ServedProcess(builder.start());
+        Process process = builder.redirectErrorStream(true).start();
+        log.follow(process);
+        return new ServedProcess(process);
     }
 
     /** Waits until the process that listens there says that it is ready. */
--- a/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
+++ b/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
@@ -32,6 +32,7 @@
             throws Exception {
         OrderTrial.Result result = OrderTrial.play(folder, seed, load, surroundings, actions);
         System.out.println("seed " + seed + " " + actions + ": " + result);
+        result.evidence().forEach(System.out::println);
         assertEquals(List.of(), result.violations().stream().limit(5).toList());
         assertTrue(result.accepted() > 0, "nothing was accepted");
     }
@@ -73,6 +74,7 @@
     void seededRuns(long seed) throws Exception {
         OrderTrial.Result result = OrderSoak.play(folder, seed);
         System.out.println("seed " + seed + " " + OrderSoak.actions(seed) + ": " + result);
+        result.evidence().forEach(System.out::println);
         assertEquals(List.of(), result.violations().stream().limit(5).toList());
         assertTrue(result.accepted() > 0, "nothing was accepted");
     }
