--- a/src/test/java/elderseam/frontend/platform/NotificationSenderTest.java
+++ b/src/test/java/elderseam/frontend/platform/NotificationSenderTest.java
@@ -29,6 +29,7 @@
 class NotificationSenderTest {
     private static final int TIMEOUT_S = 10;
     private static final int MAX_BYTES = 1 << 16;
+    private static final long LOST_AFTER_MS = 300;
     private static final long SECOND_NS = 1_000 * Clock.MILLISECOND_NS;
 
     private record Call(String body, HttpServer.Answerer answerer) {}
@@ -93,8 +94,7 @@
     @Test
     void outcomeReplacedDuringCallIsSentAfterwards() throws Exception {
         long deadline = io.clock.now() + 9 * SECOND_NS;
-        ActiveRequest.Message message =
-                new ActiveRequest.Message("m", (byte) 0, 0, -1, 1, deadline, deadline, false, true, "", new byte[0]);
+        ActiveRequest.Message message = message("m", deadline);
         onIoThread(() -> {
             sender.add(message, FinalOutcome.rejected(500 * Clock.MILLISECOND_NS));
             sender.flush();
@@ -113,4 +113,26 @@
         }
         assertEquals(0, unacknowledged[0]);
     }
+
+    /** A message counts as lost 300 ms after its time, though it is another call of the platform that gets no answer. */
+    @Test
+    void aCallWithoutAnAnswerHoldsUpNoOtherNotification() throws Exception {
+        long deadline = io.clock.now() + SECOND_NS;
+        onIoThread(() -> {
+            sender.add(message("silent", deadline), FinalOutcome.FAILED);
+            sender.flush();
+        });
+        nextCall();
+        onIoThread(() -> {
+            sender.add(message("next", io.clock.now()), FinalOutcome.FAILED);
+            sender.flush();
+        });
+        Call second = calls.poll(LOST_AFTER_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(second, "no call within " + LOST_AFTER_MS + " ms");
+        assertEquals("{\"id\":\"next\",\"status\":\"undeliverable\"}\n", second.body);
+    }
+
+    private static ActiveRequest.Message message(String id, long deadline) {
+        return new ActiveRequest.Message(id, (byte) 0, 0, -1, 1, deadline, deadline, false, true, "", new byte[0]);
+    }
 }
