Certificates: no second order while another member's is open

What callers saw: two certificates in one fleet, from two orders (known as LeasedCertificateOrderTest.oneOrdersRenewsAndAnotherAfterIt, two orders for three members, load 50 to 70).

Cause: the lease ended while its holder stood still inside an order. The fencing token keeps it from publishing, but nothing told the next holder that an order was open at the authority; it placed another one.

Evidence: aHolderThatStallsInsideItsOrderFinishesItForAll stalls the holder for 3 s of its order.

Change: the holder announces its order in the group's log before it places it (an entry among the published answers; the stored form is as it was). While another member's order is open nobody else orders or seeks the lease, for 70 s at most or until each member orders for itself. A network error leaves the order open and the next look resumes it.

--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -41,7 +41,6 @@
         Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
     }
 
-    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration RETRY_DELAY = Duration.ofSeconds(30);
 
     /** How often a member of a fleet looks whether it is the one that orders. */
@@ -160,7 +159,7 @@
         boolean isNew = takeOver();
         List<X509Certificate> chain = store.chain();
         if (isOrderDue(chain)) {
-            order.place(Instant.now().plus(ORDER_TIMEOUT));
+            placeOrder();
             chain = store.chain();
             isNew = true;
         }
@@ -171,6 +170,20 @@
         return chain;
     }
 
+    private void placeOrder() throws AcmeException, IOException, InterruptedException {
+        boolean isOpen = true;
+        try {
+            order.place(Instant.now().plus(SharedCertificateOrder.ORDER_TIMEOUT));
+        } catch (AcmeException | IOException | RuntimeException e) {
+            isOpen = order.isInterrupted();
+            throw e;
+        } finally {
+            if (!isOpen && fleet != null) {
+                fleet.orderFailed();
+            }
+        }
+    }
+
     private boolean isOrderDue(List<X509Certificate> chain) {
         Instant now = Instant.now();
         Instant dueAt = chain.isEmpty() ? startedAt : renewalOf(chain.get(0));
--- a/src/main/java/elderseam/acme/CertificateOrder.java
+++ b/src/main/java/elderseam/acme/CertificateOrder.java
@@ -2,25 +2,32 @@
 
 import java.io.IOException;
 import java.io.StringWriter;
+import java.net.URL;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import org.shredzone.acme4j.Account;
 import org.shredzone.acme4j.AccountBuilder;
 import org.shredzone.acme4j.Authorization;
+import org.shredzone.acme4j.Login;
 import org.shredzone.acme4j.Order;
 import org.shredzone.acme4j.Session;
 import org.shredzone.acme4j.Status;
 import org.shredzone.acme4j.challenge.Http01Challenge;
 import org.shredzone.acme4j.exception.AcmeException;
+import org.shredzone.acme4j.exception.AcmeNetworkException;
 
-/** Orders a certificate from an ACME authority, proving the names by http-01 (RFC 8555, section 8.3). Blocks. */
+/**
+ * Orders a certificate from an ACME authority, proving the names by http-01 (RFC 8555, section 8.3). An order that a network
+ * error has interrupted stays open at the authority, and is resumed instead of placed again. Blocks; not thread-safe.
+ */
 final class CertificateOrder {
     private final String directory;
     private final List<String> names;
     private final CertificateStore store;
     private final ChallengeAnswers answers;
     private final SharedCertificateOrder fleet;
+    private URL openOrder; // interrupted, and to be resumed; null if there is none
+    private Instant openOrderDeadline;
 
     /**
      * Prepares orders.
@@ -43,32 +50,65 @@
         this.fleet = fleet;
     }
 
+    /** Whether an order was interrupted that the next {@link #place} resumes. */
+    boolean isInterrupted() {
+        return openOrder != null && Instant.now().isBefore(openOrderDeadline);
+    }
+
     /**
-     * Orders a certificate and stores its chain.
+     * Orders a certificate, or resumes the interrupted order, and stores its chain.
      *
+     * @param deadline of a new order; an interrupted one keeps its own
      * @throws AcmeException if the authority refuses it or is not ready by the deadline
      */
     void place(Instant deadline) throws AcmeException, IOException, InterruptedException {
-        Account account = new AccountBuilder()
+        Login login = new AccountBuilder()
                 .agreeToTermsOfService()
                 .useKeyPair(store.accountKey())
-                .create(new Session(directory));
-        Order order = account.newOrder().domains(names).create();
+                .createLogin(new Session(directory));
+        Order order = isInterrupted() ? login.bindOrder(openOrder) : create(login, deadline);
+        boolean interrupted = false;
         try {
+            complete(order);
+        } catch (AcmeNetworkException e) {
+            interrupted = true;
+            throw e;
+        } finally {
+            answers.clearOwn();
+            if (!interrupted) {
+                openOrder = null;
+            }
+        }
+    }
+
+    private Order create(Login login, Instant deadline) throws AcmeException {
+        Order order = login.getAccount().newOrder().domains(names).create();
+        openOrder = order.getLocation();
+        openOrderDeadline = deadline;
+        return order;
+    }
+
+    /** Does what is left of an order, and stores the chain. */
+    private void complete(Order order) throws AcmeException, IOException, InterruptedException {
+        if (order.getStatus() == Status.PENDING) {
             for (Authorization authorization : order.getAuthorizations()) {
                 prove(authorization);
             }
-            requireStatus(Status.READY, order.waitUntilReady(Duration.between(Instant.now(), deadline)));
+            requireStatus(Status.READY, order.waitUntilReady(timeLeft()));
+        }
+        if (order.getStatus() == Status.READY) {
             order.execute(store.certificateKey());
-            requireStatus(Status.VALID, order.waitForCompletion(Duration.between(Instant.now(), deadline)));
-        } finally {
-            answers.clearOwn();
         }
+        requireStatus(Status.VALID, order.waitForCompletion(timeLeft()));
         StringWriter chain = new StringWriter();
         order.getCertificate().writeCertificate(chain);
         store.saveChain(chain.toString());
     }
 
+    private Duration timeLeft() {
+        return Duration.between(Instant.now(), openOrderDeadline);
+    }
+
     private void prove(Authorization authorization) throws AcmeException {
         Http01Challenge challenge = authorization
                 .findChallenge(Http01Challenge.class)
--- a/src/main/java/elderseam/acme/SharedCertificateOrder.java
+++ b/src/main/java/elderseam/acme/SharedCertificateOrder.java
@@ -1,5 +1,6 @@
 package elderseam.acme;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 
@@ -8,8 +9,12 @@
  * get the result. Called on the manager's thread; the methods may block.
  */
 public interface SharedCertificateOrder {
+    /** An order ends within this time, either way. */
+    Duration ORDER_TIMEOUT = Duration.ofSeconds(60);
+
     /**
-     * Whether this member orders now.
+     * Whether this member orders now. Where it does as the one that may, the others have been told, and wait for the end of
+     * its order: {@link #publishBundle} or {@link #orderFailed}.
      *
      * @param dueAt since when an order is due
      * @param ownOrderAt from when on this member orders by itself, whoever else may
@@ -19,6 +24,9 @@
     /** Publishes the answers to the authority's challenges, by token: the authority may ask any member. */
     void publishChallengeAnswers(Map<String, String> answers);
 
+    /** Tells the others that this member's order has failed, and that another may be placed. */
+    void orderFailed();
+
     /** Publishes a certificate with its key, sealed; false where this member no longer is the one that may. */
     boolean publishBundle(byte[] bundle);
 }
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
@@ -38,6 +39,14 @@
 
     private static final long PUBLISH_TIMEOUT_S = 10;
 
+    /**
+     * The entry among the published answers that names the member whose order is open. No token of an authority is so short
+     * (RFC 8555, section 8.3), and a release that does not know it takes it for an answer that nobody asks for.
+     */
+    private static final String ORDERING_MEMBER = "ordering-member";
+
+    private static final long LEASE_CHECK_INTERVAL_MS = 200;
+
     /** A group that starts has no leader yet. */
     private static final long MIN_PATIENCE_MS = 30_000;
 
@@ -48,30 +57,37 @@
      * What the holder has published; the property names are part of the group's log.
      *
      * @param sealedBundle the sealed certificate and key; empty before the first
-     * @param challengeAnswers the answers to challenges, by token
+     * @param challengeAnswers the answers to challenges, by token; {@link #ORDERING_MEMBER} among them while an order is open
      */
     record Publication(
             @JsonProperty("sealed") String sealedBundle,
             @JsonProperty("answers") Map<String, String> challengeAnswers) {}
 
+    private final String member;
     private final String leaseName;
     private final SecretSealer seal;
     private final CertificateOrderTask task;
     private volatile LeaseService leases; // null until the fleet is joined
     private volatile CertificateManager certificates; // null until there are any to be served
+    private final Object publicationLock = new Object(); // notified of each publication
     private volatile Publication latest = new Publication("", Map.of());
 
+    /** Whether this member has announced an order that has not ended. */
+    private volatile boolean orderOpenHere;
+
     /**
      * Reads the key that seals certificates.
      *
      * @throws IOException if it can't be used
      */
     LeasedCertificateOrder(Settings settings) throws IOException {
+        this.member = settings.get(SettingKeys.FLEET_NAME);
         this.leaseName = LEASE_PREFIX + settings.get(SettingKeys.ACME_NAMES).get(0);
         this.seal =
                 SecretSealer.readKeyFile(Path.of(settings.get(SettingKeys.FLEET_CERTIFICATE_KEY)), new SecureRandom());
         long patienceMs = Math.max(MIN_PATIENCE_MS, PATIENCE_TERMS * settings.get(SettingKeys.FLEET_TTL_MS));
-        this.task = new CertificateOrderTask(patienceMs);
+        long otherOrderMs = ORDER_TIMEOUT.toMillis() + TimeUnit.SECONDS.toMillis(PUBLISH_TIMEOUT_S);
+        this.task = new CertificateOrderTask(patienceMs, otherOrderMs);
     }
 
     /** The lease's name in the group. */
@@ -96,24 +112,100 @@
 
     @Override
     public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
+        long nowMs = now.toEpochMilli();
+        seekLease(orderOpenHere || !task.awaitsOtherOrder(nowMs));
         LeaseService joined = leases;
         boolean heldByAnother = joined != null && joined.isHeldByAnother(leaseName);
         LeaseOwner owner = LeaseOwner.of(lease().isPresent(), heldByAnother);
-        boolean orders = task.isOrderedHere(now.toEpochMilli(), ownOrderAt.toEpochMilli(), owner);
-        if (orders) {
-            LOG.info("certificate.order_started", field("holds_lease", lease().isPresent()));
+        if (!task.isOrderedHere(nowMs, ownOrderAt.toEpochMilli(), owner)) {
+            return false;
+        }
+        orderOpenHere = announce();
+        if (now.isBefore(ownOrderAt) && owner == LeaseOwner.THIS_MEMBER && !orderOpenHere) {
+            return false;
+        }
+        LOG.info("certificate.order_started", field("holds_lease", lease().isPresent()));
+        return true;
+    }
+
+    /**
+     * Announces an order of this member. Returns false if the group did not accept that, as the lease has moved on, or if the
+     * log has an open order of another member before it, which this member had not learned of; that one then stands again.
+     */
+    private boolean announce() {
+        Optional<LeaseValidity> lease = lease();
+        if (lease.isEmpty() || !publishOpenOrder(member, Map.of()) || !awaitOwnAnnouncement()) {
+            return false;
+        }
+        Optional<String> other = task.otherOrderBy();
+        other.ifPresent(name -> publishOpenOrder(name, Map.of()));
+        return other.isEmpty();
+    }
+
+    /** Waits until this member's copy of the group's log has its own announcement, and with it all that came before. */
+    private boolean awaitOwnAnnouncement() {
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PUBLISH_TIMEOUT_S);
+        synchronized (publicationLock) {
+            while (!member.equals(latest.challengeAnswers().get(ORDERING_MEMBER))) {
+                long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
+                if (leftMs <= 0) {
+                    return false;
+                }
+                try {
+                    publicationLock.wait(leftMs);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Acquires and keeps the lease, or leaves it to others. While the order of another member is open, the lease is left to that
+     * member alone: if it has lost the lease, it needs it again to publish the certificate.
+     */
+    private void seekLease(boolean isWanted) {
+        LeaseService joined = leases;
+        if (joined != null) {
+            joined.want(leaseName, isWanted);
         }
-        return orders;
     }
 
     @Override
     public void publishChallengeAnswers(Map<String, String> answers) {
-        publish(new Publication(latest.sealedBundle(), Map.copyOf(answers)));
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PUBLISH_TIMEOUT_S);
+        boolean published = publishOpenOrder(member, answers);
+        while (!published && orderOpenHere && System.nanoTime() < deadlineNs) {
+            try {
+                Thread.sleep(LEASE_CHECK_INTERVAL_MS); // the lease that was lost comes back: nobody else seeks it
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            published = publishOpenOrder(member, answers);
+        }
+    }
+
+    /** Publishes that the order of that member is open, and its answers; whether the group accepted that from this one. */
+    private boolean publishOpenOrder(String orderingMember, Map<String, String> answers) {
+        Map<String, String> withMember = new HashMap<>(answers);
+        withMember.put(ORDERING_MEMBER, orderingMember);
+        return publish(new Publication(latest.sealedBundle(), withMember));
+    }
+
+    @Override
+    public void orderFailed() {
+        orderOpenHere = false;
+        publish(new Publication(latest.sealedBundle(), Map.of()));
     }
 
     @Override
     public boolean publishBundle(byte[] bundle) {
-        return publish(new Publication(seal.seal(bundle, leaseName), Map.of()));
+        boolean published = publish(new Publication(seal.seal(bundle, leaseName), Map.of()));
+        orderOpenHere &= !published;
+        return published;
     }
 
     /** Whether the group accepted it from this member as the holder. */
@@ -136,16 +228,32 @@
         }
     }
 
+    /** The group's log tells whose order is open; an own announcement does not end the order of another. */
+    private void onOrderingMember(Optional<String> orderingMember) {
+        if (orderingMember.isEmpty()) {
+            task.orderEnded();
+        } else if (!orderingMember.get().equals(member)) {
+            task.otherOrderBegan(orderingMember.get());
+        }
+        seekLease(orderOpenHere || task.otherOrderBy().isEmpty());
+    }
+
     /** The holder has published; this member's own publications come here too. */
     void onPublished(String value) {
         try {
             Publication publication = JSON.readValue(value, Publication.class);
             String sealedBundle = publication.sealedBundle();
             boolean isNew = !sealedBundle.isEmpty() && !sealedBundle.equals(latest.sealedBundle());
-            latest = publication;
+            Map<String, String> answers = new HashMap<>(publication.challengeAnswers());
+            String orderingMember = answers.remove(ORDERING_MEMBER);
+            onOrderingMember(Optional.ofNullable(orderingMember));
+            synchronized (publicationLock) {
+                latest = publication;
+                publicationLock.notifyAll();
+            }
             CertificateManager served = certificates;
             if (served != null) {
-                served.onPublished(publication.challengeAnswers(), isNew ? seal.open(sealedBundle, leaseName) : null);
+                served.onPublished(answers, isNew ? seal.open(sealedBundle, leaseName) : null);
             }
         } catch (IOException e) {
             LOG.warn("certificate.received_unusable", error(e));
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -29,6 +29,9 @@
 class LeasedCertificateOrderTest {
     private static final FaultSchedule PLAN = new FaultSchedule(3, 1_200, 5, 150, 1_000, Map.of(), List.of());
 
+    /** Two and a half terms of the lease. */
+    private static final long STALL_MS = 3_000;
+
     @TempDir
     Path folder;
 
@@ -106,6 +109,30 @@
         }
     }
 
+    /** Nobody orders a second certificate because the lease ended while its holder stood still inside an order. */
+    @Test
+    void aHolderThatStallsInsideItsOrderFinishesItForAll() throws Exception {
+        int port = AcmeTestSupport.freePort();
+        try (ChallengeGate gate = new ChallengeGate(port)) {
+            StandInAuthority authority = new StandInAuthority(
+                    new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), gate.port());
+            Path key = folder.resolve("seal");
+            SecretSealer.createKeyFile(key, new SecureRandom());
+            try (ProcessCluster cluster = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
+                assertTrue(gate.awaitChallenge(60), "no order came as far as its challenge");
+                String ordering = holder(cluster);
+                cluster.inject(FaultInjection.parse(0, "stall " + ordering + " " + STALL_MS));
+                Waits.sleep(STALL_MS);
+                cluster.resumeDue(System.nanoTime());
+                gate.open();
+                one(cluster, "", Waits.deadlineInSeconds(60));
+                assertEquals(1, authority.ordered(), "orders, of which " + ordering + " began the first");
+                assertEquals(
+                        List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
+            }
+        }
+    }
+
     @Test
     void aSealOpensByItsKeyAndForItsMatterAlone() throws Exception {
         SecureRandom random = new SecureRandom();
