--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -61,6 +61,7 @@
     private final StreamSinkChannel markerSink;
     private boolean markerInPipe;
     private boolean catchingUp;
+    private long lastStallEnd = Long.MIN_VALUE;
     private LongConsumer onStall = stallNs -> {};
 
     /**
@@ -101,6 +102,15 @@
         return stallDetector.longestStallNs();
     }
 
+    /**
+     * Returns when the last stall that was long enough to be logged has ended: now, if the input that arrived during it has
+     * not been read yet; {@link Long#MIN_VALUE} before the first. Time in which this process could not read is no time in
+     * which a client was silent.
+     */
+    public long lastStallEnd() {
+        return isStalled() ? clock.now() : lastStallEnd;
+    }
+
     /** Returns the XNIO worker, for sockets of protocols other than HTTP. Its only I/O thread is {@link #thread()}. */
     public XnioWorker worker() {
         return worker;
@@ -198,6 +208,7 @@
         catchingUp = false;
         long stallNs = stallDetector.endStall();
         if (stallNs > LOGGED_STALL_NS) {
+            lastStallEnd = clock.now();
             LOG.warn("io.stalled", field("duration_ms", stallNs / Clock.MILLISECOND_NS));
         }
         runLoggingFailure(() -> onStall.accept(stallNs));
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -42,6 +42,22 @@
                 """.replace("{to}", TO));
     }
 
+    /** A client that the process could not hear during a stall is not closed on for its silence when that ends. */
+    @Test
+    void aDrainWaitsForClientsAfterAStall() throws Exception {
+        play(folder, """
+                c send GET /health/ready
+                c expect 200
+                operator ask LAMEDUCK -> 200 draining
+                relay pause
+                h1 wait quiet 1000
+                relay resume
+                operator wait PING -> 200
+                c send POST /status-update; {to} X-Txn: a
+                c expect 202; Connection: close
+                """.replace("{to}", TO));
+    }
+
     /** Messages and a wait arrive while the process stands still: whatever it reads first, the wait counts first. */
     @Test
     void aWaitThatArrivesInAPauseIsReadBeforeAnythingIsSent() throws Exception {
