Client connections: a stall of the program is no silence of a new client

Cause: a new connection that is silent for 1 s gives way first; the second counted while the program itself stood still and heard nobody.

Change: silence counts from the end of the last stall (IoLoop.lastStallEnd).

--- a/src/main/java/elderseam/http/ClientConnection.java
+++ b/src/main/java/elderseam/http/ClientConnection.java
@@ -155,9 +155,9 @@
         return awaitsFirstRequest;
     }
 
-    /** Whether the connection has been in its state for so long that no request is expected soon. */
+    /** Whether the connection has been in its state for so long, stalls apart, that no request is expected soon. */
     boolean isSilent(long now) {
-        return now - stateSince > SILENT_AFTER_NS;
+        return now - Math.max(stateSince, connections.lastStallEnd()) > SILENT_AFTER_NS;
     }
 
     /** Whether at least one byte of a request has arrived. */
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -100,6 +100,11 @@
         return true;
     }
 
+    /** Returns when this process last began to read again after a stall; see {@link IoLoop#lastStallEnd}. */
+    long lastStallEnd() {
+        return io.lastStallEnd();
+    }
+
     /** Returns the connection of a channel; null if it was closed. */
     ClientConnection get(StreamConnection channel) {
         return byChannel.get(channel);
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -58,6 +58,31 @@
                 """.replace("{to}", TO));
     }
 
+    /** A new client that the process could not hear during a stall does not give way to a crowd for its silence. */
+    @Test
+    void aClientThatCameBeforeAStallOutlivesACrowd() throws Exception {
+        StringBuilder kept = new StringBuilder();
+        StringBuilder crowd = new StringBuilder();
+        for (int i = 0; i < 100; i++) {
+            kept.append("s%1$d send GET /health/ready\ns%1$d expect 200\n".formatted(i));
+            crowd.append("t%d send GET /health/ready\n".formatted(i));
+        }
+        play(folder, """
+                {kept}
+                c raw
+                operator wait PING -> 200
+                relay pause
+                h1 wait quiet 1200
+                {crowd}
+                relay resume
+                t99 expect 200
+                c send POST /status-update; {to} X-Txn: a
+                c expect 202
+                """.replace("{kept}", kept.toString().strip())
+                .replace("{crowd}", crowd.toString().strip())
+                .replace("{to}", TO));
+    }
+
     /** Messages and a wait arrive while the process stands still: whatever it reads first, the wait counts first. */
     @Test
     void aWaitThatArrivesInAPauseIsReadBeforeAnythingIsSent() throws Exception {
