Ordered events test: waits until the event is accepted

Seen: the message of the platform's client goes before the event that was sent just before it.

Cause: the test's. The two come on two connections, and nothing waited until the event was read.

Evidence: with the program stopped for 0.3 s before the event is sent, 2 of 10 plays fail; the log has request.accepted of the message at 1.768 s and of the event at 1.775, and the key's order follows that. An event has no answer before its delivery, so nothing puts it before a message on another connection.

Change: the script waits for inflight=2. The order checks stay.

--- a/src/test/java/elderseam/scenario/OrderedKeyScenarioTest.java
+++ b/src/test/java/elderseam/scenario/OrderedKeyScenarioTest.java
@@ -81,6 +81,7 @@
                 e1 send {event} ce-id: 1; ce-partitionkey: p | 100 NAD
                 h1 expect ce-id: 1
                 e2 send {event} ce-id: 2; ce-partitionkey: p | 100 NAD
+                operator wait INFO -> inflight=2
                 c send POST /rent-payment?thread=p; {to} X-Txn: same
                 c expect 202
                 h1 wait quiet 200
