Idempotency restart test: messages whose time outlasts a slow restart

Seen: no request came after the restart. Cause: the test's: its messages had 9 s, and at a ninth of a core the restart alone takes 11 s. Evidence: 2 of 2 plays there; the message was accepted at 11.8 s with 8.9 s left, the next process restored it at 23.0 s and rejected it as out of time, with its notification, as it has to.

Change: the messages of this script have 25 s. Each check stays.

--- a/src/test/java/elderseam/scenario/IdempotencyKeyRestartTest.java
+++ b/src/test/java/elderseam/scenario/IdempotencyKeyRestartTest.java
@@ -34,12 +34,12 @@
     @Test
     void aPendingRequestIsRecoveredWithItsDuplicates() throws Exception {
         play(LEASE, """
-                c send POST /rent-payment; {org} X-Txn: one | {rent}
+                c send POST /rent-payment; {org-patient} X-Txn: one | {rent}
                 c expect 202
                 h1 expect X-Txn: one
                 h1 send 429; X-RateLimit-Wait-Ms: 2500
                 h1 wait quiet 100
-                c send POST /rent-payment; {org} X-Txn: copy | {rent}
+                c send POST /rent-payment; {org-patient} X-Txn: copy | {rent}
                 c expect 202
                 relay close kill
                 relay wait start
--- a/src/test/java/elderseam/scenario/RulesScenario.java
+++ b/src/test/java/elderseam/scenario/RulesScenario.java
@@ -15,6 +15,8 @@
             """;
 
     private static final String PLATFORM_HEADERS = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m;";
+    private static final String PATIENT_PLATFORM_HEADERS =
+            "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 25000m;";
     private static final String EVENT_HEAD =
             "POST /events; ce-specversion: 1.0; ce-source: /books; ce-destination: 1; ce-tenant: erongo-lettings;"
                     + " Content-Type: application/json;";
@@ -50,11 +52,13 @@
     }
 
     /**
-     * Runs a script, in which {org} stands for the headers of a platform request, {event} for the head of an event,
+     * Runs a script, in which {org} stands for the headers of a platform request, {org-patient} for those of one whose time
+     * outlasts a slow restart, {event} for the head of an event,
      * {rent} for a body with a lease, and {folder} for the working folder.
      */
     final void run(Scenario scenario, String script) throws Exception {
         scenario.run(script.replace("{org}", PLATFORM_HEADERS)
+                .replace("{org-patient}", PATIENT_PLATFORM_HEADERS)
                 .replace("{event}", EVENT_HEAD)
                 .replace("{rent}", RENT_BODY)
                 .replace("{folder}", folder.toString()));
