Tests: ports and addresses that no other process takes; a release is sent again

Cause: the tests'. Ports were drawn from the range that outgoing connections use; scenarios of two processes got the same loopback addresses; and a request that meets no leader was sent again for acquire alone.

--- a/src/test/java/elderseam/acme/AcmeTest.java
+++ b/src/test/java/elderseam/acme/AcmeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.FreePorts;
 import elderseam.core.Clock;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
@@ -53,7 +54,7 @@
     @Test
     void aCertificateIsOrderedServedAndStored() throws Exception {
         IoLoop io = new IoLoop(new Clock());
-        int port = AcmeTestSupport.freePort();
+        int port = FreePorts.next();
         StandInAuthority authority = new StandInAuthority(io, ANY_PORT, port);
         CertificateManager certificates = certificates(authority, "localhost");
         new HttpServer(
@@ -86,8 +87,7 @@
     /** Nobody answers the challenge, so the name gets no certificate. */
     @Test
     void anUnprovedNameGetsNoCertificate() throws Exception {
-        StandInAuthority authority =
-                new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, AcmeTestSupport.freePort());
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, FreePorts.next());
         Account account = new AccountBuilder()
                 .agreeToTermsOfService()
                 .useKeyPair(KeyPairUtils.createECKeyPair("secp256r1"))
@@ -105,8 +105,7 @@
     /** A request needs a signature and a nonce that was not used. */
     @Test
     void unsignedRequestsAreRejected() throws Exception {
-        StandInAuthority authority =
-                new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, AcmeTestSupport.freePort());
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, FreePorts.next());
         URI url = URI.create(authority.directory().replace("/directory", "/new-account"));
         HttpResponse<String> answer = HttpClient.newHttpClient()
                 .send(
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -4,12 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.FreePorts;
 import elderseam.fleet.ClockDriftBound;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -50,13 +51,7 @@
 
     private void allocateAddresses(String... names) throws IOException {
         for (String name : names) {
-            addresses.put(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort()));
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+            addresses.put(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next()));
         }
     }
 
@@ -93,11 +88,19 @@
         }
     }
 
-    /** Acquires the lease, with retries while the group has no leader yet and the request therefore fails. */
     private LeaseTable.Outcome acquire(String member) throws Exception {
+        return request(() -> members.get(member).acquire(LEASE, TTL_MS));
+    }
+
+    private void release(String member, long token) throws Exception {
+        request(() -> members.get(member).release(LEASE, token));
+    }
+
+    /** Sends a request again as long as it fails because the group has no leader. */
+    private static <T> T request(Supplier<CompletableFuture<T>> request) throws Exception {
         for (int attempt = 0; ; attempt++) {
             try {
-                return members.get(member).acquire(LEASE, TTL_MS).get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
+                return request.get().get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
             } catch (ExecutionException e) {
                 if (attempt == MAX_LEADERLESS_ATTEMPTS) {
                     throw e;
@@ -106,10 +109,6 @@
         }
     }
 
-    private void release(String member, long token) throws Exception {
-        members.get(member).release(LEASE, token).get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
-    }
-
     /** A grant that arrives after the renewer was stopped is ignored: another member may hold the lease by then. */
     @Test
     void grantAfterStopIsIgnored() throws Exception {
--- a/src/test/java/elderseam/scenario/RawHttpSocket.java
+++ b/src/test/java/elderseam/scenario/RawHttpSocket.java
@@ -79,13 +79,13 @@
     }
 
     /**
-     * A loopback address of its own: scenarios run side by side, and a port that one gives back is soon another's. What
-     * still connects there must meet nobody.
+     * A loopback address of its own: scenarios run side by side, also in several processes, and a port that one gives back is
+     * soon another's. What still connects there must meet nobody.
      */
     static InetAddress own() throws IOException {
         int n = GIVEN.getAndIncrement();
-        return InetAddress.getByAddress(
-                new byte[] {127, (byte) (2 + n / 40_000), (byte) (n / 200 % 200), (byte) (1 + n % 200)});
+        int process = 2 + (int) (ProcessHandle.current().pid() % 90);
+        return InetAddress.getByAddress(new byte[] {127, (byte) process, (byte) (n / 200 % 200), (byte) (1 + n % 200)});
     }
 
     static ServerSocket listen(InetAddress address, int port, Consumer<Socket> taken) throws IOException {
--- a/src/test/java/elderseam/scenario/SecureEventsTest.java
+++ b/src/test/java/elderseam/scenario/SecureEventsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import elderseam.FreePorts;
 import elderseam.acme.AcmeTestSupport;
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
@@ -24,7 +25,7 @@
 
     @Test
     void anEventOverTls() throws Exception {
-        int port = AcmeTestSupport.freePort();
+        int port = FreePorts.next();
         StandInAuthority authority = new StandInAuthority(
                 new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
         try (Scenario s = new Scenario(folder)) {
--- a/src/test/java/elderseam/testkit/faults/GossipOnlyLeaseTest.java
+++ b/src/test/java/elderseam/testkit/faults/GossipOnlyLeaseTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import elderseam.FreePorts;
 import elderseam.fleet.selftest.GossipOnlyLease;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -56,7 +57,7 @@
                 DatagramProxy proxy = new DatagramProxy(
                         links,
                         "b",
-                        freePort(),
+                        FreePorts.next(),
                         (InetSocketAddress) b.getLocalSocketAddress(),
                         Map.of(a.getLocalSocketAddress(), "a"))) {
             b.setSoTimeout(ARRIVAL_TIMEOUT_MS);
@@ -84,12 +85,6 @@
         }
     }
 
-    private static int freePort() throws Exception {
-        try (DatagramSocket free = new DatagramSocket(0, LOOPBACK)) {
-            return free.getLocalPort();
-        }
-    }
-
     private static void send(DatagramSocket socket, String text, InetSocketAddress to) throws Exception {
         socket.send(new DatagramPacket(text.getBytes(StandardCharsets.US_ASCII), text.length(), to));
     }
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.acme.AcmeTestSupport;
+import elderseam.FreePorts;
 import elderseam.acme.SecretSealer;
 import elderseam.core.Clock;
 import elderseam.http.IoLoop;
@@ -81,7 +81,7 @@
 
     @Test
     void oneOrdersRenewsAndAnotherAfterIt() throws Exception {
-        int port = AcmeTestSupport.freePort();
+        int port = FreePorts.next();
         StandInAuthority authority = new StandInAuthority(
                 new IoLoop(new Clock()),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
@@ -112,7 +112,7 @@
     /** Nobody orders a second certificate because the lease ended while its holder stood still inside an order. */
     @Test
     void aHolderThatStallsInsideItsOrderFinishesItForAll() throws Exception {
-        int port = AcmeTestSupport.freePort();
+        int port = FreePorts.next();
         try (ChallengeGate gate = new ChallengeGate(port)) {
             StandInAuthority authority = new StandInAuthority(
                     new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), gate.port());
