Certificates: an announced order whose time is over does not come back

Cause: found on rereading. A member that gave up waiting for a dead member's order still remembered it, so its own announcement put that order back into the log, and nobody ordered until each member's own time.

Change: CertificateOrderTask forgets an order when its time is over.

--- a/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
+++ b/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
@@ -49,7 +49,7 @@
         return otherOrderBy;
     }
 
-    /** Whether the order of another member may still be completed. */
+    /** Whether the order of another member may still be completed. One whose time is over has ended from here on. */
     public synchronized boolean awaitsOtherOrder(long nowMs) {
         if (otherOrderBy.isEmpty()) {
             return false;
@@ -57,7 +57,10 @@
         if (otherOrderSinceMs.isEmpty()) {
             otherOrderSinceMs = OptionalLong.of(nowMs);
         }
-        return nowMs - otherOrderSinceMs.getAsLong() < otherOrderTimeoutMs;
+        if (nowMs - otherOrderSinceMs.getAsLong() >= otherOrderTimeoutMs) {
+            orderEnded();
+        }
+        return otherOrderBy.isPresent();
     }
 
     /** Whether this member orders the certificate now. From {@code deadlineMs} on it no longer waits for another member. */
--- a/src/test/java/elderseam/fleet/lease/CertificateOrderTaskTest.java
+++ b/src/test/java/elderseam/fleet/lease/CertificateOrderTaskTest.java
@@ -1,8 +1,10 @@
 package elderseam.fleet.lease;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class CertificateOrderTaskTest {
@@ -34,6 +36,8 @@
         assertFalse(ordersAt(0, LeaseOwner.THIS_MEMBER), "the order of n2 is open");
         assertFalse(ordersAt(1_999, LeaseOwner.THIS_MEMBER));
         assertTrue(ordersAt(2_000, LeaseOwner.THIS_MEMBER), "it is over by now");
+        assertEquals(
+                Optional.empty(), task.otherOrderBy(), "and does not come back with this member's own announcement");
         task.otherOrderBegan("n3");
         assertFalse(ordersAt(2_100, LeaseOwner.THIS_MEMBER));
         task.orderEnded();
