Scenario clients write with the connect, before anything else

Cause: the test kit's. Evidence, from the timelines: the client connected at 8.816 s and wrote at 13.457, its thread not scheduled in between; a connection on which nothing comes for 2.4 s is closed, as the stated rule is.

Change: a client that connects to send writes at once, and starts its reader afterwards. No check changes.

--- a/src/test/java/elderseam/scenario/ClientConnections.java
+++ b/src/test/java/elderseam/scenario/ClientConnections.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -34,11 +35,8 @@
     /** Does one step of a scenario. */
     void step(String client, String verb, String words) throws IOException, InterruptedException {
         switch (verb) {
-            case "send" -> {
-                RawHttpSocket.Link link = connect(client); // first of all: an instant counts from the sending
-                link.write(ScenarioMessages.request(words));
-            }
-            case "raw" -> connect(client).write(ScenarioMessages.rawBytes(words));
+            case "send" -> write(client, ScenarioMessages.request(words));
+            case "raw" -> write(client, ScenarioMessages.rawBytes(words));
             case "expect" -> ScenarioMessages.assertContains(connect(client).next(), words);
             case "close" -> links.remove(client).reset();
             case "end" -> links.get(client).socket.shutdownOutput();
@@ -46,14 +44,29 @@
         }
     }
 
-    private RawHttpSocket.Link connect(String client) throws IOException {
+    private void write(String client, String text) throws IOException {
         RawHttpSocket.Link link = links.get(client);
         if (link == null) {
-            String[] hostAndPort = addresses.of(client).split(":");
-            Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]));
-            link = new RawHttpSocket.Link(socket, message -> {}, event -> timeline.record(client, event));
-            links.put(client, link);
+            connect(client, text);
+        } else {
+            link.write(text);
         }
+    }
+
+    private RawHttpSocket.Link connect(String client) throws IOException {
+        RawHttpSocket.Link link = links.get(client);
+        return link == null ? connect(client, "") : link;
+    }
+
+    /** Connects and writes at once, before anything else: a connection on which nothing comes for 2.4 s is closed. */
+    private RawHttpSocket.Link connect(String client, String text) throws IOException {
+        String[] hostAndPort = addresses.of(client).split(":");
+        Socket socket = new Socket(hostAndPort[0], Integer.parseInt(hostAndPort[1]));
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        timeline.record(client, "connects and writes " + text);
+        RawHttpSocket.Link link =
+                new RawHttpSocket.Link(socket, message -> {}, event -> timeline.record(client, event));
+        links.put(client, link);
         return link;
     }
 
