--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -88,19 +87,11 @@
         }
     }
 
+    /** Acquires the lease, with retries while the group has no leader yet and the request therefore fails. */
     private LeaseTable.Outcome acquire(String member) throws Exception {
-        return request(() -> members.get(member).acquire(LEASE, TTL_MS));
-    }
-
-    private void release(String member, long token) throws Exception {
-        request(() -> members.get(member).release(LEASE, token));
-    }
-
-    /** Sends a request again as long as it fails because the group has no leader. */
-    private static <T> T request(Supplier<CompletableFuture<T>> request) throws Exception {
         for (int attempt = 0; ; attempt++) {
             try {
-                return request.get().get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
+                return members.get(member).acquire(LEASE, TTL_MS).get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
             } catch (ExecutionException e) {
                 if (attempt == MAX_LEADERLESS_ATTEMPTS) {
                     throw e;
@@ -109,6 +100,10 @@
         }
     }
 
+    private void release(String member, long token) throws Exception {
+        members.get(member).release(LEASE, token).get(REPLY_TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
     /** A grant that arrives after the renewer was stopped is ignored: another member may hold the lease by then. */
     @Test
     void grantAfterStopIsIgnored() throws Exception {
