--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -124,10 +124,20 @@
         if (now.isBefore(ownOrderAt) && owner == LeaseOwner.THIS_MEMBER && !orderOpenHere) {
             return false;
         }
-        LOG.info("certificate.order_started", field("holds_lease", lease().isPresent()));
+        LOG.info(
+                "certificate.order_started",
+                field("holds_lease", lease().isPresent()),
+                field("reason", orderReason(now.isBefore(ownOrderAt), owner)));
         return true;
     }
 
+    private static String orderReason(boolean isBeforeOwnTime, LeaseOwner owner) {
+        if (!isBeforeOwnTime) {
+            return "deadline";
+        }
+        return owner == LeaseOwner.THIS_MEMBER ? "lease" : "no_holder";
+    }
+
     /**
      * Announces an order of this member. Returns false if the group did not accept that, as the lease has moved on, or if the
      * log has an open order of another member before it, which this member had not learned of; that one then stands again.
