Certificates: no order while the certificate of another member is handed over

Cause: LeasedCertificateOrder.onPublished ended the other member's order first, then decrypted its certificate and queued it behind the check that may be running (CertificateManager.onPublished). A check in that gap saw neither an order nor a certificate, and ordered.

Change: the certificate is handed over before its order ends, without the queue; a check that is told to order looks once more for one that has come, takes it over, and publishes it again.

--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import javax.net.ssl.SSLContext;
 import org.bouncycastle.jce.provider.BouncyCastleProvider;
@@ -34,7 +35,7 @@
  * serve the one that they have, or none; at half of the time between the renewal and the end of theirs, each orders by
  * itself.
  */
-public final class CertificateManager {
+public final class CertificateManager implements PublishedCertificates {
     private static final EventLogger LOG = EventLogger.of(CertificateManager.class);
 
     static {
@@ -67,8 +68,10 @@
         return created;
     });
 
+    /** Published by another member and not looked at yet; else null. */
+    private final AtomicReference<byte[]> receivedBundle = new AtomicReference<>();
+
     // Of the manager's thread alone:
-    private byte[] receivedBundle; // published by another member and not looked at yet; else null
     private byte[] lastSharedBundle = {}; // that this member published or took over
     private boolean contextDelivered;
     private ScheduledFuture<?> nextCheck;
@@ -105,21 +108,16 @@
         thread.execute(this::check);
     }
 
-    /**
-     * The ordering member has published.
-     *
-     * @param answers its answers to challenges, by token
-     * @param bundle a new certificate, or null
-     */
+    @Override
     public void onPublished(Map<String, String> answers, byte[] bundle) {
         challengeAnswers.publish(answers);
         if (bundle != null) {
-            thread.execute(() -> receive(bundle));
+            receivedBundle.set(bundle); // at once: a check that is running looks for it before it orders
+            thread.execute(this::checkEarly);
         }
     }
 
-    private void receive(byte[] bundle) {
-        receivedBundle = bundle;
+    private void checkEarly() {
         if (nextCheck != null && nextCheck.cancel(false)) { // else a check is about to run
             check();
         }
@@ -159,7 +157,7 @@
         boolean isNew = takeOver();
         List<X509Certificate> chain = store.chain();
         if (isOrderDue(chain)) {
-            placeOrder();
+            takeOverOrOrder();
             chain = store.chain();
             isNew = true;
         }
@@ -170,11 +168,20 @@
         return chain;
     }
 
-    private void placeOrder() throws AcmeException, IOException, InterruptedException {
-        boolean isOpen = true;
+    /**
+     * Places the order that is due, unless the certificate of another member has come while the fleet was asked who orders.
+     * That one is published again: the announcement of this member's order may have replaced it in the group's log.
+     */
+    private void takeOverOrOrder() throws AcmeException, IOException, GeneralSecurityException, InterruptedException {
+        boolean isOpen = false;
         try {
-            order.place(Instant.now().plus(SharedCertificateOrder.ORDER_TIMEOUT));
-        } catch (AcmeException | IOException | RuntimeException e) {
+            if (takeOver()) {
+                lastSharedBundle = new byte[0];
+            } else {
+                isOpen = true;
+                order.place(Instant.now().plus(SharedCertificateOrder.ORDER_TIMEOUT));
+            }
+        } catch (AcmeException | IOException | GeneralSecurityException | RuntimeException e) {
             isOpen = order.isInterrupted();
             throw e;
         } finally {
@@ -201,8 +208,7 @@
 
     /** Stores the received bundle if it is newer than the stored one and can be served; returns whether it did. */
     private boolean takeOver() throws IOException, GeneralSecurityException {
-        byte[] bytes = receivedBundle;
-        receivedBundle = null;
+        byte[] bytes = receivedBundle.getAndSet(null);
         if (bytes == null || Arrays.equals(bytes, lastSharedBundle)) {
             return false;
         }
--- a/src/main/java/elderseam/acme/SharedCertificateOrder.java
+++ b/src/main/java/elderseam/acme/SharedCertificateOrder.java
@@ -24,7 +24,7 @@
     /** Publishes the answers to the authority's challenges, by token: the authority may ask any member. */
     void publishChallengeAnswers(Map<String, String> answers);
 
-    /** Tells the others that this member's order has failed, and that another may be placed. */
+    /** Tells the others that this member's order has failed or was not placed, and that another may be. */
     void orderFailed();
 
     /** Publishes a certificate with its key, sealed; false where this member no longer is the one that may. */
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -5,7 +5,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import elderseam.acme.CertificateManager;
+import elderseam.acme.PublishedCertificates;
 import elderseam.acme.SecretSealer;
 import elderseam.acme.SharedCertificateOrder;
 import elderseam.fleet.lease.CertificateOrderTask;
@@ -68,7 +68,7 @@
     private final SecretSealer seal;
     private final CertificateOrderTask task;
     private volatile LeaseService leases; // null until the fleet is joined
-    private volatile CertificateManager certificates; // null until there are any to be served
+    private volatile PublishedCertificates certificates; // null until there are any to be served
     private final Object publicationLock = new Object(); // notified of each publication
     private volatile Publication latest = new Publication("", Map.of());
 
@@ -96,7 +96,7 @@
     }
 
     /** The certificates that are served here get what another member has ordered. */
-    void servedBy(CertificateManager certificates) {
+    void servedBy(PublishedCertificates certificates) {
         this.certificates = certificates;
     }
 
@@ -248,25 +248,35 @@
         seekLease(orderOpenHere || task.otherOrderBy().isEmpty());
     }
 
-    /** The holder has published; this member's own publications come here too. */
+    /**
+     * The holder has published; this member's own publications come here too. An order ends here only once its certificate is
+     * handed over: this member would place an order of its own in between.
+     */
     void onPublished(String value) {
         try {
             Publication publication = JSON.readValue(value, Publication.class);
-            String sealedBundle = publication.sealedBundle();
-            boolean isNew = !sealedBundle.isEmpty() && !sealedBundle.equals(latest.sealedBundle());
             Map<String, String> answers = new HashMap<>(publication.challengeAnswers());
-            String orderingMember = answers.remove(ORDERING_MEMBER);
-            onOrderingMember(Optional.ofNullable(orderingMember));
-            synchronized (publicationLock) {
-                latest = publication;
-                publicationLock.notifyAll();
-            }
-            CertificateManager served = certificates;
-            if (served != null) {
-                served.onPublished(answers, isNew ? seal.open(sealedBundle, leaseName) : null);
+            Optional<String> orderingMember = Optional.ofNullable(answers.remove(ORDERING_MEMBER));
+            try {
+                handOver(publication.sealedBundle(), answers);
+            } finally {
+                onOrderingMember(orderingMember);
+                synchronized (publicationLock) {
+                    latest = publication;
+                    publicationLock.notifyAll();
+                }
             }
         } catch (IOException e) {
             LOG.warn("certificate.received_unusable", error(e));
         }
     }
+
+    /** Hands answers, and a certificate that is new, to those that serve them. */
+    private void handOver(String sealedBundle, Map<String, String> answers) throws IOException {
+        PublishedCertificates served = certificates;
+        if (served != null) {
+            boolean isNew = !sealedBundle.isEmpty() && !sealedBundle.equals(latest.sealedBundle());
+            served.onPublished(answers, isNew ? seal.open(sealedBundle, leaseName) : null);
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/elderseam/acme/CertificateManagerTest.java
@@ -0,0 +1,109 @@
+package elderseam.acme;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import elderseam.FreePorts;
+import elderseam.core.Clock;
+import elderseam.http.IoLoop;
+import elderseam.testkit.acme.StandInAuthority;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.KeyPair;
+import java.security.Security;
+import java.security.cert.X509Certificate;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLContext;
+import org.bouncycastle.jce.provider.BouncyCastleProvider;
+import org.bouncycastle.openssl.jcajce.JcaPEMWriter;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.shredzone.acme4j.Identifier;
+import org.shredzone.acme4j.util.CertificateUtils;
+import org.shredzone.acme4j.util.KeyPairUtils;
+
+/** A member of a fleet between the certificate that another member has ordered and an order of its own. */
+class CertificateManagerTest {
+    static {
+        Security.addProvider(new BouncyCastleProvider()); // acme4j's helpers ask for it by name
+    }
+
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final int ACME_VALIDATION_BYTES = 32;
+    private static final int KEY_BITS = 2048;
+    private static final long LIMIT_S = 15;
+
+    @TempDir
+    Path folder;
+
+    private final BlockingQueue<SSLContext> contexts = new LinkedBlockingQueue<>();
+
+    /** A fleet in which another member's certificate is published just while this member asks whether it orders. */
+    private static final class PublishingFleet implements SharedCertificateOrder {
+        private final byte[] bundle;
+        private final BlockingQueue<byte[]> published = new LinkedBlockingQueue<>();
+        private CertificateManager manager;
+
+        PublishingFleet(byte[] bundle) {
+            this.bundle = bundle;
+        }
+
+        @Override
+        public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
+            manager.onPublished(Map.of(), bundle);
+            return true;
+        }
+
+        @Override
+        public void publishChallengeAnswers(Map<String, String> answers) {
+            // this fleet asks nobody
+        }
+
+        @Override
+        public void orderFailed() {
+            // the test looks at what is published
+        }
+
+        @Override
+        public boolean publishBundle(byte[] ownBundle) {
+            return published.add(ownBundle);
+        }
+    }
+
+    private static byte[] selfSignedBundle() throws Exception {
+        KeyPair pair = KeyPairUtils.createKeyPair(KEY_BITS);
+        X509Certificate certificate = CertificateUtils.createTlsAlpn01Certificate(
+                pair, Identifier.dns("localhost"), new byte[ACME_VALIDATION_BYTES]);
+        StringWriter key = new StringWriter();
+        KeyPairUtils.writeKeyPair(pair, key);
+        StringWriter chain = new StringWriter();
+        try (JcaPEMWriter pem = new JcaPEMWriter(chain)) {
+            pem.writeObject(certificate);
+        }
+        return new CertificateBundle(key.toString(), chain.toString()).encoded();
+    }
+
+    /** The certificate is taken over instead of an order, and goes to the log again: the announcement was put over it. */
+    @Test
+    void aCertificateThatComesWhileTheFleetIsAskedSavesTheOrder() throws Exception {
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, FreePorts.next());
+        byte[] bundle = selfSignedBundle();
+        PublishingFleet fleet = new PublishingFleet(bundle);
+        fleet.manager =
+                new CertificateManager(authority.directory(), List.of("localhost"), folder, contexts::add, fleet);
+        fleet.manager.start();
+        assertNotNull(contexts.poll(LIMIT_S, TimeUnit.SECONDS), "no certificate is served");
+        assertEquals(0, authority.ordered(), "orders");
+        byte[] published = fleet.published.poll(LIMIT_S, TimeUnit.SECONDS);
+        assertNotNull(published, "the certificate is not published again");
+        assertEquals(new String(bundle, UTF_8), new String(published, UTF_8));
+    }
+}
