Certificates: an order of another member shows that there is a holder

What callers saw: where the first order took longer than 30 s, the other members ordered by themselves, without the lease, in the moment in which it ended, two or three orders at once, most with a failed challenge.

Cause: CertificateOrderTask counted the time without a known holder from its first check on; an order of another member, during which nobody else seeks the lease, neither stopped it nor began it anew.

Change: an announced order, an ended one, and the lease held here begin that time anew. Its length stays.

--- a/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
+++ b/src/main/java/elderseam/fleet/lease/CertificateOrderTask.java
@@ -5,7 +5,8 @@
 
 /**
  * Decides whether a member orders a certificate itself or waits for the one that the lease holder publishes. The holder
- * orders; the other members wait while a holder is known, and for a limited time while none is known. From the deadline
+ * orders; the other members wait while a holder is known, and for a limited time while none is known. An order that is
+ * announced or ends shows a holder, so that time begins anew with it. From the deadline
  * on, well before the current certificate expires, every member orders its own: the lease reduces the number of orders
  * but must never cause a certificate to expire.
  *
@@ -37,11 +38,13 @@
     public synchronized void otherOrderBegan(String member) {
         otherOrderBy = Optional.of(member);
         otherOrderSinceMs = OptionalLong.empty();
+        noHolderSinceMs = OptionalLong.empty();
     }
 
     /** The last order has ended, either way. */
     public synchronized void orderEnded() {
         otherOrderBy = Optional.empty();
+        noHolderSinceMs = OptionalLong.empty();
     }
 
     /** The other member whose order was announced last and has not ended; empty if there is none. */
@@ -71,12 +74,9 @@
         if (awaitsOtherOrder(nowMs)) {
             return false;
         }
-        if (owner == LeaseOwner.THIS_MEMBER) {
-            return true;
-        }
-        if (owner == LeaseOwner.ANOTHER_MEMBER) {
+        if (owner != LeaseOwner.UNKNOWN) {
             noHolderSinceMs = OptionalLong.empty();
-            return false;
+            return owner == LeaseOwner.THIS_MEMBER;
         }
         if (noHolderSinceMs.isEmpty()) {
             noHolderSinceMs = OptionalLong.of(nowMs);
--- a/src/test/java/elderseam/fleet/lease/CertificateOrderTaskTest.java
+++ b/src/test/java/elderseam/fleet/lease/CertificateOrderTaskTest.java
@@ -29,6 +29,36 @@
         assertTrue(ordersAt(10_000, LeaseOwner.ANOTHER_MEMBER), "after the deadline no member waits for the holder");
     }
 
+    /** While an order is open its member is known, and so is a holder when it ends: the time without one begins then. */
+    @Test
+    void theTimeWithoutAHolderBeginsWhenTheOrderOfAnotherEnds() {
+        assertFalse(ordersAt(0, LeaseOwner.UNKNOWN), "a group that starts has no holder yet");
+        task.otherOrderBegan("n2");
+        assertFalse(ordersAt(1_500, LeaseOwner.UNKNOWN), "the order of n2 is open");
+        task.orderEnded();
+        assertFalse(ordersAt(1_600, LeaseOwner.UNKNOWN), "n2 held the lease a moment ago");
+        assertFalse(ordersAt(2_599, LeaseOwner.UNKNOWN));
+        assertTrue(ordersAt(2_600, LeaseOwner.UNKNOWN), "no holder known for 1 s");
+    }
+
+    /** An order that begins and ends between two looks at it shows a holder as well. */
+    @Test
+    void anOrderThatWasNeverLookedAtShowsAHolder() {
+        assertFalse(ordersAt(0, LeaseOwner.UNKNOWN));
+        task.otherOrderBegan("n2");
+        task.orderEnded();
+        assertFalse(ordersAt(1_000, LeaseOwner.UNKNOWN));
+        assertTrue(ordersAt(2_000, LeaseOwner.UNKNOWN));
+    }
+
+    @Test
+    void aMemberThatHeldTheLeaseItselfKnewOfAHolder() {
+        assertFalse(ordersAt(0, LeaseOwner.UNKNOWN));
+        assertTrue(ordersAt(900, LeaseOwner.THIS_MEMBER));
+        assertFalse(ordersAt(1_000, LeaseOwner.UNKNOWN), "it has lost the lease since");
+        assertTrue(ordersAt(2_000, LeaseOwner.UNKNOWN));
+    }
+
     /** No two orders at once because the lease moved while one was open, and none never because its member died. */
     @Test
     void noMemberOrdersWhileTheOrderOfAnotherIsOpen() {
