Certificates: the authority asks once every member has the answer to its challenge

Cause: LeasedCertificateOrder.publishChallengeAnswers returned as soon as a majority had the answer, and the authority was told to ask. A member that is only behind answers 404 after 1.5 s, and the order is INVALID.

Change: LeaseGroup.awaitReplication waits until all members have committed what this one has, by the engine's commit reports; 10 s at most, then certificate.answers_not_replicated names those that lack it. It waits on the certificates' thread only, and only while an order is open.

--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -154,6 +154,11 @@
                 : started.validity(name).filter(validity -> validity.mayAct(nowNs, nowNs));
     }
 
+    /** The group, once it has started. */
+    Optional<LeaseGroup> group() {
+        return Optional.ofNullable(group);
+    }
+
     /** Whether another member holds that lease, by the group's last word. */
     boolean isHeldByAnother(String name) {
         LeaseRenewer started = renewer;
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -9,6 +9,7 @@
 import elderseam.acme.SecretSealer;
 import elderseam.acme.SharedCertificateOrder;
 import elderseam.fleet.lease.CertificateOrderTask;
+import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseOwner;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
@@ -18,10 +19,13 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -39,6 +43,9 @@
 
     private static final long PUBLISH_TIMEOUT_S = 10;
 
+    /** With the time for publishing it leaves most of an order's time to the authority. */
+    private static final Duration REPLICATION_TIMEOUT = Duration.ofSeconds(10);
+
     /**
      * The entry among the published answers that names the member whose order is open. No token of an authority is so short
      * (RFC 8555, section 8.3), and a release that does not know it takes it for an answer that nobody asks for.
@@ -144,7 +151,7 @@
      */
     private boolean announce() {
         Optional<LeaseValidity> lease = lease();
-        if (lease.isEmpty() || !publishOpenOrder(member, Map.of()) || !awaitOwnAnnouncement()) {
+        if (lease.isEmpty() || !publishOpenOrder(member, Map.of()) || !awaitOwnPublication(Set.of())) {
             return false;
         }
         Optional<String> other = task.otherOrderBy();
@@ -152,11 +159,14 @@
         return other.isEmpty();
     }
 
-    /** Waits until this member's copy of the group's log has its own announcement, and with it all that came before. */
-    private boolean awaitOwnAnnouncement() {
+    /**
+     * Waits until this member's copy of the group's log has its own announcement with these answers, and with it all that came
+     * before.
+     */
+    private boolean awaitOwnPublication(Set<String> tokens) {
         long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PUBLISH_TIMEOUT_S);
         synchronized (publicationLock) {
-            while (!member.equals(latest.challengeAnswers().get(ORDERING_MEMBER))) {
+            while (!isOwnPublication(latest.challengeAnswers(), tokens)) {
                 long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
                 if (leftMs <= 0) {
                     return false;
@@ -172,6 +182,11 @@
         return true;
     }
 
+    private boolean isOwnPublication(Map<String, String> published, Set<String> tokens) {
+        return member.equals(published.get(ORDERING_MEMBER))
+                && published.keySet().containsAll(tokens);
+    }
+
     /**
      * Acquires and keeps the lease, or leaves it to others. While the order of another member is open, the lease is left to that
      * member alone: if it has lost the lease, it needs it again to publish the certificate.
@@ -196,6 +211,27 @@
             }
             published = publishOpenOrder(member, answers);
         }
+        if (published && awaitOwnPublication(answers.keySet())) {
+            awaitReplication();
+        }
+    }
+
+    /** Waits until all members have what this one has; a member that is down is not waited for longer than the limit. */
+    private void awaitReplication() {
+        Optional<LeaseGroup> group = leases.group();
+        if (group.isEmpty()) {
+            return;
+        }
+        try {
+            List<String> behind = group.get().awaitReplication(REPLICATION_TIMEOUT);
+            if (!behind.isEmpty()) {
+                LOG.warn("certificate.answers_not_replicated", field("members", String.join(" ", behind)));
+            }
+        } catch (IOException e) {
+            LOG.warn("certificate.publish_failed", error(e));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Publishes that the order of that member is open, and its answers; whether the group accepted that from this one. */
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -7,8 +7,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -17,6 +19,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.apache.ratis.conf.RaftProperties;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientReply;
@@ -53,6 +56,8 @@
 
     private static final long MEMBERSHIP_CHANGE_TIMEOUT_S = 180;
 
+    private static final long REPLICATION_CHECK_INTERVAL_MS = 50;
+
     private static final String GROUP_ID_PREFIX = "elderseam-leases:";
 
     static {
@@ -120,9 +125,7 @@
 
     /** Returns the names of the group's members as known to this member, sorted. */
     public List<String> memberNames() throws IOException {
-        RaftServer.Division division =
-                server.getDivision(server.getGroupIds().iterator().next());
-        return division.getRaftConf().getCurrentPeers().stream()
+        return division().getRaftConf().getCurrentPeers().stream()
                 .map(peer -> peer.getId().toString())
                 .sorted()
                 .toList();
@@ -130,14 +133,43 @@
 
     /** Returns a description of this member's Raft state: role, term, commit index and last applied index. */
     public String engineState() throws IOException {
-        RaftServer.Division division =
-                server.getDivision(server.getGroupIds().iterator().next());
+        RaftServer.Division division = division();
         return division.getInfo().getCurrentRole()
                 + " term " + division.getInfo().getCurrentTerm()
                 + " commit " + division.getRaftLog().getLastCommittedIndex()
                 + " applied " + division.getInfo().getLastAppliedIndex();
     }
 
+    /**
+     * Waits until every member has committed all that this member has committed now, and returns the names of those that
+     * have not within the timeout, sorted. The members report to the leader what they have committed, and its heartbeats
+     * tell it to all, so the answer may come some heartbeats late but never early. Blocks; any thread may call it.
+     *
+     * @throws IOException if this member has left its group
+     */
+    public List<String> awaitReplication(Duration timeout) throws IOException, InterruptedException {
+        long deadlineNs = System.nanoTime() + timeout.toNanos();
+        long index = division().getRaftLog().getLastCommittedIndex();
+        List<String> behind = membersBehind(index);
+        while (!behind.isEmpty() && System.nanoTime() < deadlineNs) {
+            Thread.sleep(REPLICATION_CHECK_INTERVAL_MS); // the engine reports no change of what others have committed
+            behind = membersBehind(index);
+        }
+        return behind;
+    }
+
+    private List<String> membersBehind(long index) throws IOException {
+        Set<String> committed = division().getCommitInfos().stream()
+                .filter(info -> info.getCommitIndex() >= index)
+                .map(info -> RaftPeerId.valueOf(info.getServer().getId()).toString())
+                .collect(Collectors.toSet());
+        return memberNames().stream().filter(name -> !committed.contains(name)).toList();
+    }
+
+    private RaftServer.Division division() throws IOException {
+        return server.getDivision(server.getGroupIds().iterator().next());
+    }
+
     static RaftGroup raftGroup(String groupName, Map<String, InetSocketAddress> members) {
         byte[] nameBytes = (GROUP_ID_PREFIX + groupName).getBytes(StandardCharsets.UTF_8);
         return RaftGroup.valueOf(RaftGroupId.valueOf(UUID.nameUUIDFromBytes(nameBytes)), raftPeers(members));
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     private static final long TTL_MS = 3000;
     private static final long ELECTION_TIMEOUT_MS = 150;
     private static final long REPLY_TIMEOUT_S = 20;
+    private static final Duration REPLICATION_LIMIT = Duration.ofSeconds(20);
     private static final int MAX_LEADERLESS_ATTEMPTS = 20;
     private static final LeaseStateMachine.Listener NO_LISTENER = new LeaseStateMachine.Listener() {};
 
@@ -179,6 +181,22 @@
         assertEquals(62, acquire("d").token(), "token after all members restarted from their directories");
     }
 
+    /** What one member has published is known to be on all members, or which of them lack it. */
+    @Test
+    void replicationIsAwaitedAndMembersThatLagAreNamed() throws Exception {
+        allocateAddresses("a", "b", "c");
+        for (String name : addresses.keySet()) {
+            start(name, LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
+        }
+        assertTrue(acquire("a").granted());
+        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT));
+        stop("c");
+        acquire("a"); // granted or not, it is an entry that c lacks
+        assertEquals(List.of("c"), members.get("a").awaitReplication(Duration.ofMillis(TTL_MS)));
+        start("c", LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
+        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT));
+    }
+
     @Test
     void nextHolderGetsHigherTokenAndNotBeforeTheLeaseExpires() throws Exception {
         allocateAddresses("a", "b", "c");
--- a/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
+++ b/src/test/java/elderseam/testkit/faults/LeasedCertificateOrderTest.java
@@ -32,6 +32,9 @@
     /** Two and a half terms of the lease. */
     private static final long STALL_MS = 3_000;
 
+    /** Longer than a member that does not know an answer waits for it, and shorter than an order takes at the most. */
+    private static final long CUT_MS = 5_000;
+
     @TempDir
     Path folder;
 
@@ -133,6 +136,28 @@
         }
     }
 
+    /** The authority asks a member that was cut off from the group when the answer to its challenge was published. */
+    @Test
+    void theAuthorityAsksOnlyOnceTheMemberThatItAsksHasTheAnswer() throws Exception {
+        int port = FreePorts.next();
+        StandInAuthority authority = new StandInAuthority(
+                new IoLoop(new Clock()), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), port);
+        Path key = folder.resolve("seal");
+        SecretSealer.createKeyFile(key, new SecureRandom());
+        try (ProcessCluster cluster = new ProcessCluster(PLAN, folder.resolve("c"), setup(authority, port, key))) {
+            cluster.inject(FaultInjection.parse(0, "isolate n1"));
+            String started = "certificate.order_started holds_lease=true reason=lease";
+            assertTrue(
+                    cluster.awaitLastEvent("certificate.order_started", started, 1, Waits.deadlineInSeconds(60)),
+                    "no member orders");
+            Waits.sleep(CUT_MS);
+            cluster.heal(true);
+            one(cluster, "", Waits.deadlineInSeconds(60));
+            assertEquals(1, authority.ordered(), "orders");
+            assertEquals(List.of(), HistoryCheckers.read(cluster.histories()).leaseSafety());
+        }
+    }
+
     @Test
     void aSealOpensByItsKeyAndForItsMatterAlone() throws Exception {
         SecureRandom random = new SecureRandom();
