Certificates: a certificate that is not looked at yet is not replaced by an older one

Cause: found on rereading. It kept one received certificate where there was a queue before; an announcement that repeats an older certificate, right behind a newer one, replaced that before it was looked at.

Change: received certificates are kept in the order of the log until each is looked at.

--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -16,11 +16,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import javax.net.ssl.SSLContext;
 import org.bouncycastle.jce.provider.BouncyCastleProvider;
@@ -68,8 +69,8 @@
         return created;
     });
 
-    /** Published by another member and not looked at yet; else null. */
-    private final AtomicReference<byte[]> receivedBundle = new AtomicReference<>();
+    /** Published by other members and not looked at yet, in the order of the group's log. */
+    private final Queue<byte[]> receivedBundles = new ConcurrentLinkedQueue<>();
 
     // Of the manager's thread alone:
     private byte[] lastSharedBundle = {}; // that this member published or took over
@@ -112,7 +113,7 @@
     public void onPublished(Map<String, String> answers, byte[] bundle) {
         challengeAnswers.publish(answers);
         if (bundle != null) {
-            receivedBundle.set(bundle); // at once: a check that is running looks for it before it orders
+            receivedBundles.add(bundle); // at once: a check that is running looks for it before it orders
             thread.execute(this::checkEarly);
         }
     }
@@ -206,10 +207,19 @@
         return dueAt.plus(Duration.between(dueAt, end).dividedBy(2));
     }
 
-    /** Stores the received bundle if it is newer than the stored one and can be served; returns whether it did. */
+    /** Takes over the first received bundle that is new; the next check looks at those behind it. */
     private boolean takeOver() throws IOException, GeneralSecurityException {
-        byte[] bytes = receivedBundle.getAndSet(null);
-        if (bytes == null || Arrays.equals(bytes, lastSharedBundle)) {
+        for (byte[] bytes = receivedBundles.poll(); bytes != null; bytes = receivedBundles.poll()) {
+            if (takeOver(bytes)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Stores the bundle if it is newer than the stored one and can be served; returns whether it did. */
+    private boolean takeOver(byte[] bytes) throws IOException, GeneralSecurityException {
+        if (Arrays.equals(bytes, lastSharedBundle)) {
             return false;
         }
         CertificateBundle bundle = CertificateBundle.decode(bytes);
--- a/src/test/java/elderseam/acme/CertificateManagerTest.java
+++ b/src/test/java/elderseam/acme/CertificateManagerTest.java
@@ -40,25 +40,26 @@
     private static final int ACME_VALIDATION_BYTES = 32;
     private static final int KEY_BITS = 2048;
     private static final long LIMIT_S = 15;
+    private static final long CERTIFICATE_TIME_STEP_MS = 1_100;
 
     @TempDir
     Path folder;
 
     private final BlockingQueue<SSLContext> contexts = new LinkedBlockingQueue<>();
 
-    /** A fleet in which another member's certificate is published just while this member asks whether it orders. */
+    /** A fleet in which certificates of other members are published just while this member asks whether it orders. */
     private static final class PublishingFleet implements SharedCertificateOrder {
-        private final byte[] bundle;
+        private final List<byte[]> bundles;
         private final BlockingQueue<byte[]> published = new LinkedBlockingQueue<>();
         private CertificateManager manager;
 
-        PublishingFleet(byte[] bundle) {
-            this.bundle = bundle;
+        PublishingFleet(List<byte[]> bundles) {
+            this.bundles = bundles;
         }
 
         @Override
         public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
-            manager.onPublished(Map.of(), bundle);
+            bundles.forEach(bundle -> manager.onPublished(Map.of(), bundle));
             return true;
         }
 
@@ -94,9 +95,22 @@
     /** The certificate is taken over instead of an order, and goes to the log again: the announcement was put over it. */
     @Test
     void aCertificateThatComesWhileTheFleetIsAskedSavesTheOrder() throws Exception {
-        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, FreePorts.next());
         byte[] bundle = selfSignedBundle();
-        PublishingFleet fleet = new PublishingFleet(bundle);
+        assertTakenOverAndPublished(bundle, List.of(bundle));
+    }
+
+    /** Another member's announcement repeats the certificate that its copy of the log has, which may be an older one. */
+    @Test
+    void anOlderCertificateBehindANewOneIsNotTakenOver() throws Exception {
+        byte[] older = selfSignedBundle();
+        Thread.sleep(CERTIFICATE_TIME_STEP_MS); // certificates tell seconds
+        byte[] newer = selfSignedBundle();
+        assertTakenOverAndPublished(newer, List.of(newer, older));
+    }
+
+    private void assertTakenOverAndPublished(byte[] expected, List<byte[]> bundles) throws Exception {
+        StandInAuthority authority = new StandInAuthority(new IoLoop(new Clock()), ANY_PORT, FreePorts.next());
+        PublishingFleet fleet = new PublishingFleet(bundles);
         fleet.manager =
                 new CertificateManager(authority.directory(), List.of("localhost"), folder, contexts::add, fleet);
         fleet.manager.start();
@@ -104,6 +118,6 @@
         assertEquals(0, authority.ordered(), "orders");
         byte[] published = fleet.published.poll(LIMIT_S, TimeUnit.SECONDS);
         assertNotNull(published, "the certificate is not published again");
-        assertEquals(new String(bundle, UTF_8), new String(published, UTF_8));
+        assertEquals(new String(expected, UTF_8), new String(published, UTF_8));
     }
 }
