CertificateManagerTest: the fleet of the test lets its member order once, not for ever

The manager of the test goes on after it, its folder is gone, and its fleet handed over the certificate and let it order at each ask: orders without a pause for the rest of the run, until the stand-in authority kept no more (update_failed, 'this stand-in keeps no more'). In that run three timing tests failed: OrderedKeyScenarioTest.theKeyIsReadFromTheQueryWhateverElseStandsThere, StalledProcessTest. aClientThatCameBeforeAStallOutlivesACrowd, PartitionProcessTest.aHerdIsSeenAndSubsetsStayEven, beside stalls of the program of up to 1.7 s.

Change: the fleet of the test publishes and lets the member order at the first ask alone. What is asserted stays.

--- a/src/test/java/elderseam/acme/CertificateManagerTest.java
+++ b/src/test/java/elderseam/acme/CertificateManagerTest.java
@@ -47,9 +47,13 @@
 
     private final BlockingQueue<SSLContext> contexts = new LinkedBlockingQueue<>();
 
-    /** A fleet in which certificates of other members are published just while this member asks whether it orders. */
+    /**
+     * A fleet in which certificates of other members are published just while this member asks for the first time whether it
+     * orders; it does then, and never again: the manager goes on after its test, without the folder.
+     */
     private static final class PublishingFleet implements SharedCertificateOrder {
         private final List<byte[]> bundles;
+        private boolean asked; // of the manager's thread
         private final BlockingQueue<byte[]> published = new LinkedBlockingQueue<>();
         private CertificateManager manager;
 
@@ -59,8 +63,12 @@
 
         @Override
         public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
-            bundles.forEach(bundle -> manager.onPublished(Map.of(), bundle));
-            return true;
+            boolean isFirst = !asked;
+            if (isFirst) {
+                asked = true;
+                bundles.forEach(bundle -> manager.onPublished(Map.of(), bundle));
+            }
+            return isFirst;
         }
 
         @Override
