CertificateManagerTest: its manager stops before its folder is removed

The manager went on after the test, saw the chain removed, took over the older certificate that was still queued, and wrote into the folder.

Change: the test's fleet never returns from the first publication, which holds the manager there. What is asserted stays.

--- a/src/test/java/elderseam/acme/CertificateManagerTest.java
+++ b/src/test/java/elderseam/acme/CertificateManagerTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
@@ -49,7 +50,8 @@
 
     /**
      * A fleet in which certificates of other members are published just while this member asks for the first time whether it
-     * orders; it does then, and never again: the manager goes on after its test, without the folder.
+     * orders; it does then, and never again. The first publication never returns: else the manager would go on in its folder
+     * while that is removed after the test.
      */
     private static final class PublishingFleet implements SharedCertificateOrder {
         private final List<byte[]> bundles;
@@ -83,7 +85,13 @@
 
         @Override
         public boolean publishBundle(byte[] ownBundle) {
-            return published.add(ownBundle);
+            published.add(ownBundle);
+            try {
+                new CountDownLatch(1).await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return false;
         }
     }
 
