Certificates: the wait for replication without an Optional, and no sealing without the lease

Change: LeaseService.awaitReplication beside publish; publishBundle asks for the lease before it seals; NO_BUNDLE; LeaseGroupTest.startMembers; the fleet of CertificateManagerTest hands each certificate over once. A comment of ClockDriftBound no longer says 'measured'. Behaviour, bounds and assertions stay; the limit is 10 s as before, in ms.

--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -52,6 +52,7 @@
     private static final Duration FIRST_CERTIFICATE_PATIENCE = Duration.ofMinutes(3);
 
     private static final long MIN_CHECK_DELAY_MS = 1_000;
+    private static final byte[] NO_BUNDLE = {};
 
     /** The part of a certificate's validity that is left when it is renewed: one third. */
     private static final int RENEWAL_DIVISOR = 3;
@@ -73,7 +74,7 @@
     private final Queue<byte[]> receivedBundles = new ConcurrentLinkedQueue<>();
 
     // Of the manager's thread alone:
-    private byte[] lastSharedBundle = {}; // that this member published or took over
+    private byte[] lastSharedBundle = NO_BUNDLE; // that this member published or took over
     private boolean contextDelivered;
     private ScheduledFuture<?> nextCheck;
 
@@ -177,7 +178,7 @@
         boolean isOpen = false;
         try {
             if (takeOver()) {
-                lastSharedBundle = new byte[0];
+                lastSharedBundle = NO_BUNDLE;
             } else {
                 isOpen = true;
                 order.place(Instant.now().plus(SharedCertificateOrder.ORDER_TIMEOUT));
--- a/src/main/java/elderseam/app/LeaseService.java
+++ b/src/main/java/elderseam/app/LeaseService.java
@@ -154,11 +154,6 @@
                 : started.validity(name).filter(validity -> validity.mayAct(nowNs, nowNs));
     }
 
-    /** The group, once it has started. */
-    Optional<LeaseGroup> group() {
-        return Optional.ofNullable(group);
-    }
-
     /** Whether another member holds that lease, by the group's last word. */
     boolean isHeldByAnother(String name) {
         LeaseRenewer started = renewer;
@@ -180,6 +175,11 @@
         return group.publish(name, lease.token(), value);
     }
 
+    /** As {@link LeaseGroup#awaitReplication}; only once this member has held a lease. */
+    List<String> awaitReplication(long timeoutMs) throws IOException, InterruptedException {
+        return group.awaitReplication(timeoutMs);
+    }
+
     // ---------------------------------------------------------------- start, on a thread of its own
 
     private void start() {
--- a/src/main/java/elderseam/app/LeasedCertificateOrder.java
+++ b/src/main/java/elderseam/app/LeasedCertificateOrder.java
@@ -9,7 +9,6 @@
 import elderseam.acme.SecretSealer;
 import elderseam.acme.SharedCertificateOrder;
 import elderseam.fleet.lease.CertificateOrderTask;
-import elderseam.fleet.lease.LeaseGroup;
 import elderseam.fleet.lease.LeaseOwner;
 import elderseam.fleet.lease.LeaseTable;
 import elderseam.fleet.lease.LeaseValidity;
@@ -19,7 +18,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
@@ -44,7 +42,7 @@
     private static final long PUBLISH_TIMEOUT_S = 10;
 
     /** With the time for publishing it leaves most of an order's time to the authority. */
-    private static final Duration REPLICATION_TIMEOUT = Duration.ofSeconds(10);
+    private static final long REPLICATION_TIMEOUT_MS = 10_000;
 
     /**
      * The entry among the published answers that names the member whose order is open. No token of an authority is so short
@@ -218,12 +216,8 @@
 
     /** Waits until all members have what this one has; a member that is down is not waited for longer than the limit. */
     private void awaitReplication() {
-        Optional<LeaseGroup> group = leases.group();
-        if (group.isEmpty()) {
-            return;
-        }
         try {
-            List<String> behind = group.get().awaitReplication(REPLICATION_TIMEOUT);
+            List<String> behind = leases.awaitReplication(REPLICATION_TIMEOUT_MS);
             if (!behind.isEmpty()) {
                 LOG.warn("certificate.answers_not_replicated", field("members", String.join(" ", behind)));
             }
@@ -249,6 +243,9 @@
 
     @Override
     public boolean publishBundle(byte[] bundle) {
+        if (lease().isEmpty()) {
+            return false; // called each second until this member holds the lease: nothing is sealed in vain
+        }
         boolean published = publish(new Publication(seal.seal(bundle, leaseName), Map.of()));
         orderOpenHere &= !published;
         return published;
--- a/src/main/java/elderseam/fleet/ClockDriftBound.java
+++ b/src/main/java/elderseam/fleet/ClockDriftBound.java
@@ -18,7 +18,7 @@
     }
 
     /**
-     * Returns the part of {@code duration}, measured on a slow local clock, that is certain to have passed before a
+     * Returns the part of {@code duration} of a slow local clock that is certain to have passed before a
      * fast remote clock measures the whole duration: {@code duration * (1 - fraction) / (1 + fraction)}, in the unit of
      * {@code duration}.
      */
--- a/src/main/java/elderseam/fleet/lease/LeaseGroup.java
+++ b/src/main/java/elderseam/fleet/lease/LeaseGroup.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -147,8 +146,8 @@
      *
      * @throws IOException if this member has left its group
      */
-    public List<String> awaitReplication(Duration timeout) throws IOException, InterruptedException {
-        long deadlineNs = System.nanoTime() + timeout.toNanos();
+    public List<String> awaitReplication(long timeoutMs) throws IOException, InterruptedException {
+        long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
         long index = division().getRaftLog().getLastCommittedIndex();
         List<String> behind = membersBehind(index);
         while (!behind.isEmpty() && System.nanoTime() < deadlineNs) {
--- a/src/test/java/elderseam/acme/CertificateManagerTest.java
+++ b/src/test/java/elderseam/acme/CertificateManagerTest.java
@@ -16,11 +16,13 @@
 import java.security.Security;
 import java.security.cert.X509Certificate;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
 import org.bouncycastle.jce.provider.BouncyCastleProvider;
@@ -49,28 +51,24 @@
     private final BlockingQueue<SSLContext> contexts = new LinkedBlockingQueue<>();
 
     /**
-     * A fleet in which certificates of other members are published just while this member asks for the first time whether it
-     * orders; it does then, and never again. The first publication never returns: else the manager would go on in its folder
-     * while that is removed after the test.
+     * A fleet in which certificates of other members are published just while this member asks whether it orders. The
+     * publication never returns: else the manager would go on in its folder while that is removed after the test.
      */
     private static final class PublishingFleet implements SharedCertificateOrder {
-        private final List<byte[]> bundles;
-        private boolean asked; // of the manager's thread
+        private final Queue<byte[]> bundles;
         private final BlockingQueue<byte[]> published = new LinkedBlockingQueue<>();
         private CertificateManager manager;
 
         PublishingFleet(List<byte[]> bundles) {
-            this.bundles = bundles;
+            this.bundles = new ArrayDeque<>(bundles);
         }
 
         @Override
         public boolean isOrderedHere(Instant now, Instant dueAt, Instant ownOrderAt) {
-            boolean isFirst = !asked;
-            if (isFirst) {
-                asked = true;
-                bundles.forEach(bundle -> manager.onPublished(Map.of(), bundle));
+            while (!bundles.isEmpty()) {
+                manager.onPublished(Map.of(), bundles.remove());
             }
-            return isFirst;
+            return true;
         }
 
         @Override
@@ -80,17 +78,13 @@
 
         @Override
         public void orderFailed() {
-            // the test looks at what is published
+            // the certificate is published after it
         }
 
         @Override
         public boolean publishBundle(byte[] ownBundle) {
             published.add(ownBundle);
-            try {
-                new CountDownLatch(1).await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            new Semaphore(0).acquireUninterruptibly();
             return false;
         }
     }
--- a/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
+++ b/src/test/java/elderseam/fleet/lease/LeaseGroupTest.java
@@ -13,7 +13,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,7 +32,7 @@
     private static final long TTL_MS = 3000;
     private static final long ELECTION_TIMEOUT_MS = 150;
     private static final long REPLY_TIMEOUT_S = 20;
-    private static final Duration REPLICATION_LIMIT = Duration.ofSeconds(20);
+    private static final long REPLICATION_LIMIT_MS = 20_000;
     private static final int MAX_LEADERLESS_ATTEMPTS = 20;
     private static final LeaseStateMachine.Listener NO_LISTENER = new LeaseStateMachine.Listener() {};
 
@@ -74,6 +73,13 @@
         members.put(name, LeaseGroup.start(configuration));
     }
 
+    private void startMembers() throws IOException {
+        allocateAddresses("a", "b", "c");
+        for (String name : addresses.keySet()) {
+            start(name, LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
+        }
+    }
+
     private void stop(String name) throws IOException {
         members.remove(name).close();
     }
@@ -184,25 +190,19 @@
     /** What one member has published is known to be on all members, or which of them lack it. */
     @Test
     void replicationIsAwaitedAndMembersThatLagAreNamed() throws Exception {
-        allocateAddresses("a", "b", "c");
-        for (String name : addresses.keySet()) {
-            start(name, LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
-        }
+        startMembers();
         assertTrue(acquire("a").granted());
-        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT));
+        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT_MS));
         stop("c");
         acquire("a"); // granted or not, it is an entry that c lacks
-        assertEquals(List.of("c"), members.get("a").awaitReplication(Duration.ofMillis(TTL_MS)));
+        assertEquals(List.of("c"), members.get("a").awaitReplication(TTL_MS));
         start("c", LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
-        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT));
+        assertEquals(List.of(), members.get("a").awaitReplication(REPLICATION_LIMIT_MS));
     }
 
     @Test
     void nextHolderGetsHigherTokenAndNotBeforeTheLeaseExpires() throws Exception {
-        allocateAddresses("a", "b", "c");
-        for (String name : addresses.keySet()) {
-            start(name, LeaseGroupConfiguration.DEFAULT_COMMANDS_PER_SNAPSHOT);
-        }
+        startMembers();
         LeaseTable.Outcome first = acquire("a");
         assertTrue(first.granted());
         LeaseTable.Outcome second = acquire("b");
