Endpoint connections: log and metrics name the connection, and bytes that no request asked for

- attempt.written (DEBUG): connection and how many answers it had carried before
- http.unexpected_input (WARN, ten a second at most) and edge_relay.unexpected_inputs in INFO
- the callbacks of an exchange become one interface, ExchangeListener, in place of four function parameters

No behaviour changes.

--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -156,6 +156,8 @@
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
         io.onStall(dispatcher::eventLoopStalled);
+        endpointConnections.onUnexpectedInput(dispatcher::unexpectedInputReceived);
+        platform.onUnexpectedInput(dispatcher::unexpectedInputReceived);
         liveConfiguration = new LiveConfiguration(
                 new LiveConfiguration.RuleTargets(io, dispatcher, journal), config, settings, startup.settingsFile());
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
--- a/src/main/java/elderseam/core/AttemptListener.java
+++ b/src/main/java/elderseam/core/AttemptListener.java
@@ -10,7 +10,7 @@
     boolean maySend();
 
     /** The last byte was passed to the network: from now on the endpoint may execute the request. */
-    default void written() {}
+    default void written(AttemptConnection connection) {}
 
     /** The attempt has ended. Called exactly once. */
     void ended(AttemptOutcome outcome);
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -151,7 +151,8 @@
         }
 
         @Override
-        public void written() {
+        public void written(AttemptConnection connection) {
+            log.attemptWritten(request, number, endpoint, connection);
             metrics.attemptWritten(request.message.classIndex());
         }
 
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -20,6 +20,7 @@
     private final Map<OutcomeReason, Long> undelivered = new EnumMap<>(OutcomeReason.class);
     private long attempts;
     private long localFailures;
+    private long unexpectedInputs;
 
     /** Creates the counters of {@code classes} message classes. */
     Metrics(int classes) {
@@ -54,6 +55,11 @@
         localFailures++;
     }
 
+    /** Counts bytes from an endpoint or the platform that answer no request. */
+    void unexpectedInputReceived() {
+        unexpectedInputs++;
+    }
+
     /**
      * Appends one line per counter. A reason has a line only after a request was rejected or failed for that reason.
      *
@@ -73,6 +79,9 @@
         if (localFailures > 0) {
             lines.add(PREFIX + "local_failures=" + localFailures);
         }
+        if (unexpectedInputs > 0) {
+            lines.add(PREFIX + "unexpected_inputs=" + unexpectedInputs);
+        }
         undelivered.forEach((reason, count) -> lines.add(PREFIX + "undelivered." + reason.label() + "=" + count));
     }
 }
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -201,6 +201,11 @@
         decisions.run();
     }
 
+    /** Counts bytes from an endpoint or the platform that answer no request. */
+    public void unexpectedInputReceived() {
+        metrics.unexpectedInputReceived();
+    }
+
     /** As {@link #submit(ActiveRequest.Message, List)}, without alternate deduplication keys. */
     public Optional<FinalOutcome> submit(ActiveRequest.Message message) {
         return submit(message, List.of());
--- a/src/main/java/elderseam/core/RequestLog.java
+++ b/src/main/java/elderseam/core/RequestLog.java
@@ -64,6 +64,19 @@
         }
     }
 
+    /** The last byte of an attempt was written. */
+    void attemptWritten(ActiveRequest request, int attempt, String endpoint, AttemptConnection connection) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug(
+                    "attempt.written",
+                    field("id", request.id()),
+                    field("attempt", attempt),
+                    field("endpoint", endpoint),
+                    field("connection", connection.number()),
+                    field("earlier_exchanges", connection.earlierExchanges()));
+        }
+    }
+
     /** An attempt ended. */
     void attemptEnded(ActiveRequest request, int attempt, String endpoint, AttemptOutcome outcome) {
         if (LOG.isDebugEnabled()) {
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -8,6 +8,7 @@
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
+import elderseam.http.AttemptExchange;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
@@ -38,10 +39,7 @@
                 new HttpRequest("POST", "/events", event.headers(), event.payload()),
                 connectBy,
                 answerBy,
-                listener::maySend,
-                listener::written,
-                result -> listener.answeredLate(classify(result)),
-                result -> listener.ended(classify(result)))::cancel;
+                new AttemptExchange(listener, EventAttemptSender::classify))::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -1,6 +1,7 @@
 package elderseam.frontend.platform;
 
 import elderseam.core.ActiveRequest;
+import elderseam.core.AttemptConnection;
 import elderseam.core.AttemptListener;
 import elderseam.core.AttemptOutcome;
 import elderseam.core.AttemptOutcome.Progress;
@@ -9,7 +10,9 @@
 import elderseam.core.Clock;
 import elderseam.core.EndpointCall;
 import elderseam.core.SettingsMap;
+import elderseam.http.AttemptExchange;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.ExchangeListener;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
@@ -98,10 +101,41 @@
                 new HttpRequest("POST", BATCH_PATH, headers, body),
                 connectBy,
                 answerBy,
-                () -> batch.stream().allMatch(entry -> entry.listener().maySend()),
-                () -> batch.forEach(entry -> entry.listener().written()),
-                result -> forEachOutcome(batch, result, AttemptListener::answeredLate),
-                result -> forEachOutcome(batch, result, AttemptListener::ended))::cancel;
+                new BatchExchange(batch))::cancel;
+    }
+
+    /** Passes the events of a shared call to the listener of each attempt. */
+    private final class BatchExchange implements ExchangeListener {
+        private final List<CallEntry> batch;
+
+        BatchExchange(List<CallEntry> batch) {
+            this.batch = batch;
+        }
+
+        @Override
+        public boolean maySend() {
+            return batch.stream().allMatch(entry -> entry.listener().maySend());
+        }
+
+        @Override
+        public void written(AttemptConnection connection) {
+            batch.forEach(entry -> entry.listener().written(connection));
+        }
+
+        @Override
+        public boolean awaitsLateResult() {
+            return true;
+        }
+
+        @Override
+        public void lateResult(HttpResult result) {
+            forEachOutcome(batch, result, AttemptListener::answeredLate);
+        }
+
+        @Override
+        public void ended(HttpResult result) {
+            forEachOutcome(batch, result, AttemptListener::ended);
+        }
     }
 
     private void forEachOutcome(
@@ -135,10 +169,7 @@
                 new HttpRequest("POST", PATH, headers, message.body()),
                 connectBy,
                 answerBy,
-                listener::maySend,
-                listener::written,
-                result -> listener.answeredLate(classify(result, loadReportFields)),
-                result -> listener.ended(classify(result, loadReportFields)))::cancel;
+                new AttemptExchange(listener, result -> classify(result, loadReportFields)))::cancel;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/elderseam/http/AttemptExchange.java
@@ -0,0 +1,43 @@
+package elderseam.http;
+
+import elderseam.core.AttemptConnection;
+import elderseam.core.AttemptListener;
+import elderseam.core.AttemptOutcome;
+import java.util.function.Function;
+
+/** Passes the events of an exchange with a single message to the listener of its attempt. Confined to the I/O thread. */
+public final class AttemptExchange implements ExchangeListener {
+    private final AttemptListener attempt;
+    private final Function<HttpResult, AttemptOutcome> classifier;
+
+    /** {@code classifier}: the outcome of the attempt, by the result of its exchange. */
+    public AttemptExchange(AttemptListener attempt, Function<HttpResult, AttemptOutcome> classifier) {
+        this.attempt = attempt;
+        this.classifier = classifier;
+    }
+
+    @Override
+    public boolean maySend() {
+        return attempt.maySend();
+    }
+
+    @Override
+    public void written(AttemptConnection connection) {
+        attempt.written(connection);
+    }
+
+    @Override
+    public boolean awaitsLateResult() {
+        return true;
+    }
+
+    @Override
+    public void lateResult(HttpResult result) {
+        attempt.answeredLate(classifier.apply(result));
+    }
+
+    @Override
+    public void ended(HttpResult result) {
+        attempt.ended(classifier.apply(result));
+    }
+}
--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -16,17 +16,30 @@
 
     final StreamConnection channel;
 
+    /** The endpoint on the other side. */
+    final EndpointAddress endpoint;
+
+    /** Identifies the connection in the log. */
+    final long number;
+
     /** The time of {@link elderseam.core.Clock#now} at which the connection became idle or half-closed. */
     long stateSinceNs;
 
     private final EndpointConnectionPool pool;
     private EndpointExchange exchange; // the exchange in progress; null if none
     private EndpointExchange cancelledExchange; // the exchange that awaits a late response; null if none
+    private int answeredExchanges;
     private boolean closed;
 
     /** Creates a connection that carries the given exchange, and starts to read from the channel. */
-    EndpointConnection(EndpointConnectionPool pool, StreamConnection channel, EndpointExchange exchange) {
+    EndpointConnection(
+            EndpointConnectionPool pool,
+            EndpointAddress endpoint,
+            StreamConnection channel,
+            EndpointExchange exchange) {
         this.pool = pool;
+        this.endpoint = endpoint;
+        this.number = pool.nextConnectionNumber();
         this.channel = channel;
         this.exchange = exchange;
         channel.getSourceChannel().setReadListener(source -> readAvailable());
@@ -43,6 +56,16 @@
         exchange = null;
     }
 
+    /** How many exchanges got a complete response on this connection. */
+    int answeredExchanges() {
+        return answeredExchanges;
+    }
+
+    /** Counts an exchange that got a complete response. */
+    void exchangeAnswered() {
+        answeredExchanges++;
+    }
+
     /** Returns the channel to which the request is written. */
     ConduitStreamSinkChannel sink() {
         return channel.getSinkChannel();
@@ -85,8 +108,12 @@
      * Whether there is no unexpected input: neither the end of the stream nor bytes that could be mistaken for the
      * next response.
      */
-    boolean hasNoUnexpectedInput() {
-        return read() == 0;
+    boolean hasNoUnexpectedInput(UnexpectedInput.Place place) {
+        int count = read();
+        if (count > 0) {
+            pool.unexpectedInput().record(this, place, pool.readBuffer);
+        }
+        return count == 0;
     }
 
     /** Reads all input that has arrived and passes it to the exchange that expects it. */
@@ -95,14 +122,21 @@
             if (cancelledExchange != null) {
                 cancelledExchange.receiveLate(count, this);
             } else if (exchange == null) {
-                pool.removeIdle(this);
-                close(); // the input answers no request
+                receiveWhileIdle(count);
             } else if (exchange.receive(count)) {
                 return;
             }
         }
     }
 
+    private void receiveWhileIdle(int count) {
+        if (count > 0) {
+            pool.unexpectedInput().record(this, UnexpectedInput.Place.IDLE, pool.readBuffer);
+        }
+        pool.removeIdle(this);
+        close();
+    }
+
     /**
      * Reads into the pool's buffer. Returns the number of bytes, 0 if none are available, or {@link #END_OF_STREAM} at
      * the end of the stream or after an error.
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -8,8 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 
 /**
  * A pool of connections to endpoints. The idle timeout is shorter than that of the endpoints, and the number of open
@@ -33,6 +31,7 @@
 
     final IoLoop io;
     private final LocalFailures localFailures;
+    private final UnexpectedInput unexpectedInput;
     final int maxResponseBytes;
 
     /** The bytes of the last read on any of the connections; valid only until the next read. */
@@ -45,6 +44,7 @@
     private final long maxIdleNs;
     private int maxConnections;
     private int openConnections; // including those still connecting
+    private long connectionsCreated;
     private boolean sweepScheduled;
 
     /**
@@ -57,6 +57,7 @@
     public EndpointConnectionPool(IoLoop io, long maxIdleNs, int maxConnections, int maxResponseBytes) {
         this.io = io;
         this.localFailures = new LocalFailures(io.clock);
+        this.unexpectedInput = new UnexpectedInput(io.clock);
         this.maxIdleNs = maxIdleNs;
         this.maxConnections = maxConnections;
         this.maxResponseBytes = maxResponseBytes;
@@ -80,21 +81,9 @@
         List.copyOf(idle.keySet()).forEach(this::closeIdle);
     }
 
-    /**
-     * Sends a request. There is no callback for a late result, so cancelling the exchange closes its connection at
-     * once.
-     *
-     * @param connectBy the time of {@link Clock#now} by which the connection must be established
-     * @param answerBy the time by which the whole response must have arrived
-     * @param onResult called exactly once, never from within this method
-     */
-    public EndpointExchange send(
-            EndpointAddress endpoint,
-            HttpRequest request,
-            long connectBy,
-            long answerBy,
-            Consumer<HttpResult> onResult) {
-        return send(endpoint, request, connectBy, answerBy, () -> true, () -> {}, null, onResult);
+    /** Sets the listener that is called whenever bytes arrive that answer no request. A second call replaces it. */
+    public void onUnexpectedInput(Runnable listener) {
+        unexpectedInput.onRecorded(listener);
     }
 
     /**
@@ -102,31 +91,11 @@
      *
      * @param connectBy the time of {@link Clock#now} by which the connection must be established
      * @param answerBy the time by which the whole response must have arrived
-     * @param maySend called before each write; once it returns false, nothing more is written
-     * @param onWritten called when the last byte of the request was written
-     * @param onLateResult called at most once, with a complete response that arrived after the exchange was cancelled
-     *     or timed out; null to close the connection without waiting for a late response
-     * @param onResult called exactly once, never from within this method
      */
     public EndpointExchange send(
-            EndpointAddress endpoint,
-            HttpRequest request,
-            long connectBy,
-            long answerBy,
-            BooleanSupplier maySend,
-            Runnable onWritten,
-            Consumer<HttpResult> onLateResult,
-            Consumer<HttpResult> onResult) {
-        EndpointExchange exchange = new EndpointExchange(
-                this,
-                endpoint,
-                request.encode(endpoint.address()),
-                connectBy,
-                answerBy,
-                maySend,
-                onWritten,
-                onLateResult,
-                onResult);
+            EndpointAddress endpoint, HttpRequest request, long connectBy, long answerBy, ExchangeListener listener) {
+        EndpointExchange exchange =
+                new EndpointExchange(this, endpoint, request.encode(endpoint.address()), connectBy, answerBy, listener);
         exchange.start();
         return exchange;
     }
@@ -140,7 +109,8 @@
         EndpointConnection usable = null;
         while (usable == null && connections != null && !connections.isEmpty()) {
             EndpointConnection candidate = connections.pollLast();
-            if (io.clock.now() - candidate.stateSinceNs < maxIdleNs && candidate.hasNoUnexpectedInput()) {
+            if (io.clock.now() - candidate.stateSinceNs < maxIdleNs
+                    && candidate.hasNoUnexpectedInput(UnexpectedInput.Place.IDLE)) {
                 usable = candidate;
             } else {
                 candidate.close();
@@ -197,6 +167,16 @@
         return localFailures;
     }
 
+    /** Returns the counter and log of bytes that answer no request. */
+    UnexpectedInput unexpectedInput() {
+        return unexpectedInput;
+    }
+
+    /** Returns the number of the next connection, from 1. */
+    long nextConnectionNumber() {
+        return ++connectionsCreated;
+    }
+
     /** Called when a connection could not be established. */
     void connectionFailed() {
         openConnections--;
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -1,13 +1,13 @@
 package elderseam.http;
 
+import elderseam.core.AttemptConnection;
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
+import elderseam.http.UnexpectedInput.Place;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -30,10 +30,7 @@
     private final ByteBuffer request;
     private final long connectBy;
     private final long answerBy;
-    private final BooleanSupplier maySend;
-    private final Runnable onWritten;
-    private final Consumer<HttpResult> onLateResult; // null: don't wait for a late result
-    private final Consumer<HttpResult> onResult;
+    private final ExchangeListener listener;
     private final HttpResponseReader response;
     private Progress progress = Progress.NOT_CONNECTED;
     private EndpointConnection connection; // null until acquired or established
@@ -52,19 +49,13 @@
             ByteBuffer request,
             long connectBy,
             long answerBy,
-            BooleanSupplier maySend,
-            Runnable onWritten,
-            Consumer<HttpResult> onLateResult,
-            Consumer<HttpResult> onResult) {
+            ExchangeListener listener) {
         this.pool = pool;
         this.endpoint = endpoint;
         this.request = request;
         this.connectBy = connectBy;
         this.answerBy = answerBy;
-        this.maySend = maySend;
-        this.onWritten = onWritten;
-        this.onLateResult = onLateResult;
-        this.onResult = onResult;
+        this.listener = listener;
         this.response = new HttpResponseReader(pool.maxResponseBytes);
     }
 
@@ -114,7 +105,7 @@
     }
 
     private void connected(StreamConnection channel) {
-        EndpointConnection opened = new EndpointConnection(pool, channel, this);
+        EndpointConnection opened = new EndpointConnection(pool, endpoint, channel, this);
         if (finished) {
             opened.close(); // the exchange ended before the connection was established
             return;
@@ -142,7 +133,7 @@
         if (finished || connection == null || progress != Progress.NOT_CONNECTED) {
             return;
         }
-        if (!maySend.getAsBoolean()) {
+        if (!listener.maySend()) {
             finish(Status.NOT_STARTED);
             return;
         }
@@ -155,7 +146,7 @@
     private void write(ConduitStreamSinkChannel sink) {
         try {
             while (!finished && request.hasRemaining()) {
-                if (!maySend.getAsBoolean()) {
+                if (!listener.maySend()) {
                     finish(Status.NOT_STARTED); // the endpoint never executes a truncated request
                 } else if (sink.write(request) == 0) {
                     sink.setWriteListener(this::write);
@@ -166,7 +157,7 @@
             if (!finished) {
                 sink.suspendWrites();
                 progress = Progress.WRITTEN; // from this point on the endpoint may have executed the request
-                onWritten.run();
+                listener.written(new AttemptConnection(connection.number, connection.answeredExchanges()));
             }
         } catch (IOException e) {
             finish(Status.BROKEN);
@@ -181,12 +172,16 @@
      */
     boolean receive(int count) {
         if (progress == Progress.NOT_CONNECTED) {
+            if (count > 0) {
+                pool.unexpectedInput().record(connection, Place.BEFORE_REQUEST, pool.readBuffer);
+            }
             handleEarlyInput();
             return true;
         }
         parse(count);
         if (response.isComplete()) {
             boolean reusable = isConnectionReusable(count);
+            connection.exchangeAnswered();
             progress = Progress.ANSWERED;
             finish(reusable ? null : Status.ERROR);
         } else if (response.isMalformed()) {
@@ -223,11 +218,14 @@
 
     /** Whether the whole request was written and nothing but the complete response was read. */
     private boolean isConnectionReusable(int count) {
+        if (count > 0 && pool.readBuffer.hasRemaining()) {
+            pool.unexpectedInput().record(connection, Place.AFTER_RESPONSE, pool.readBuffer);
+            return false;
+        }
         return count > 0
-                && !pool.readBuffer.hasRemaining()
                 && response.allowsReuse()
                 && progress == Progress.WRITTEN
-                && connection.hasNoUnexpectedInput();
+                && connection.hasNoUnexpectedInput(Place.AFTER_RESPONSE);
     }
 
     /** Ends the exchange without a response, unless input that has already arrived completes the response. */
@@ -245,7 +243,7 @@
             from.closeHalfClosed();
         }
         if (response.isComplete()) {
-            onLateResult.accept(completeResult());
+            listener.lateResult(completeResult());
         }
     }
 
@@ -269,7 +267,7 @@
         } else if (connecting != null) {
             connecting.cancel();
         }
-        onResult.accept(
+        listener.ended(
                 progress == Progress.ANSWERED
                         ? completeResult()
                         : HttpResult.unanswered(progress, failure, response.statusCode()));
@@ -290,7 +288,7 @@
     }
 
     private boolean mayRespondLate(Status failure) {
-        return onLateResult != null
+        return listener.awaitsLateResult()
                 && progress == Progress.WRITTEN
                 && (failure == Status.TIMED_OUT || failure == Status.ABANDONED);
     }
--- /dev/null
+++ b/src/main/java/elderseam/http/UnexpectedInput.java
@@ -0,0 +1,69 @@
+package elderseam.http;
+
+import static elderseam.logging.LogField.field;
+
+import elderseam.core.Clock;
+import elderseam.logging.EventLogger;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Counts bytes that answer no request, and logs them, at most ten times per second. Confined to the I/O thread. */
+final class UnexpectedInput {
+    /** When the bytes were read, in the life of their connection. */
+    enum Place {
+        /** No request was in progress. */
+        IDLE,
+        /** A request was about to be written. */
+        BEFORE_REQUEST,
+        /** With the end of a complete response. */
+        AFTER_RESPONSE
+    }
+
+    private static final EventLogger LOG = EventLogger.of(UnexpectedInput.class);
+    private static final long LOG_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
+    private static final int MAX_LOGGED_BYTES = 40;
+
+    private final Clock clock;
+    private Runnable listener = () -> {};
+    private long count;
+    private long nextLogNs = Long.MIN_VALUE;
+
+    UnexpectedInput(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Sets the listener that is called for each case. There is one listener; a second call replaces it. */
+    void onRecorded(Runnable newListener) {
+        listener = newListener;
+    }
+
+    /** Counts and logs bytes that came on a connection to an endpoint. The position of the buffer does not change. */
+    void record(EndpointConnection connection, Place place, ByteBuffer bytes) {
+        count++;
+        listener.run();
+        long now = clock.now();
+        if (now < nextLogNs) {
+            return;
+        }
+        nextLogNs = now + LOG_INTERVAL_NS;
+        LOG.warn(
+                "http.unexpected_input",
+                field("count", count),
+                field("endpoint", connection.endpoint.id()),
+                field("connection", connection.number),
+                field("exchanges", connection.answeredExchanges()),
+                field("place", place),
+                field("bytes", bytes.remaining()),
+                field("start", firstLine(bytes)));
+    }
+
+    /** The first line of the bytes, shortened to {@link #MAX_LOGGED_BYTES}. */
+    private static String firstLine(ByteBuffer bytes) {
+        byte[] start = new byte[Math.min(MAX_LOGGED_BYTES, bytes.remaining())];
+        bytes.get(bytes.position(), start);
+        return new String(start, StandardCharsets.ISO_8859_1)
+                .lines()
+                .findFirst()
+                .orElse("");
+    }
+}
--- a/src/test/java/elderseam/http/AttemptProgressTest.java
+++ b/src/test/java/elderseam/http/AttemptProgressTest.java
@@ -154,14 +154,17 @@
             long deadline = answerBy();
             CompletableFuture<HttpResult> unsent = new CompletableFuture<>();
             io.run(() -> connections.send(
-                    endpoint,
-                    post("/x", SMALL_BODY_BYTES),
-                    deadline,
-                    deadline,
-                    () -> false,
-                    () -> {},
-                    null,
-                    unsent::complete));
+                    endpoint, post("/x", SMALL_BODY_BYTES), deadline, deadline, new ExchangeListener() {
+                        @Override
+                        public boolean maySend() {
+                            return false;
+                        }
+
+                        @Override
+                        public void ended(HttpResult result) {
+                            unsent.complete(result);
+                        }
+                    }));
             assertFailed(Progress.NOT_CONNECTED, Status.NOT_STARTED, unsent);
             CompletableFuture<HttpResult> sent = new CompletableFuture<>();
             io.run(() -> connections.send(endpoint, post("/later", 0), deadline, deadline, sent::complete));
@@ -175,22 +178,30 @@
     }
 
     /** An exchange that can be cancelled, with futures for its result and its late result. */
-    private final class CancellableExchange {
+    private final class CancellableExchange implements ExchangeListener {
         final CompletableFuture<HttpResult> result = new CompletableFuture<>();
         final CompletableFuture<HttpResult> lateResult = new CompletableFuture<>();
         private final CompletableFuture<EndpointExchange> exchange = new CompletableFuture<>();
 
         CancellableExchange(ServerSocket server) {
             long deadline = answerBy();
-            io.run(() -> exchange.complete(connections.send(
-                    endpoint(server),
-                    post("/x", 0),
-                    deadline,
-                    deadline,
-                    () -> true,
-                    () -> {},
-                    lateResult::complete,
-                    result::complete)));
+            io.run(() ->
+                    exchange.complete(connections.send(endpoint(server), post("/x", 0), deadline, deadline, this)));
+        }
+
+        @Override
+        public boolean awaitsLateResult() {
+            return true;
+        }
+
+        @Override
+        public void lateResult(HttpResult late) {
+            lateResult.complete(late);
+        }
+
+        @Override
+        public void ended(HttpResult ended) {
+            result.complete(ended);
         }
 
         /** Cancels the exchange; must be called on the I/O thread. */
