--- a/src/main/java/elderseam/testkit/ordering/HttpConnection.java
+++ b/src/main/java/elderseam/testkit/ordering/HttpConnection.java
@@ -103,10 +103,16 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Answers a request. {@code headers}: each with its line end. */
-    void answer(int status, String headers, String body) throws IOException {
-        write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: "
-                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
+    /** The bytes of an answer. {@code headers}: each with its line end. */
+    static String answer(int status, String headers, String body) {
+        return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: "
+                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    }
+
+    /** Writes an answer, and a copy of it later where that fault is played. */
+    void answer(String answer, CopiedAnswers copies) throws IOException {
+        write(answer);
+        copies.answered(this, answer);
     }
 
     void reset() throws IOException {
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -16,6 +16,8 @@
     private static final int MIN_ACTIONS = 3;
     private static final int MAX_ACTIONS = 8;
     private static final int UNLIMITED = 100_000;
+    private static final int MAX_UNORDERED_CLIENTS = 12;
+    private static final int MAX_COPY_DELAY_MS = 2_000;
 
     private OrderSoak() {}
 
@@ -47,17 +49,30 @@
         int keys = random.nextInt(3, 13);
         int maxPauseMs = random.nextInt(20, 800);
         int minRemainingMs = random.nextInt(300, 3_000);
-        OrderTrial.Load load = new OrderTrial.Load(keys, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
         OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
                 random.nextInt(1, 4),
                 random.nextInt(1, 40),
                 random.nextInt(40, 250),
                 random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3,
                 random.nextInt(1, 300),
-                random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2);
+                random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2,
+                copyFault(random));
+        int unorderedClients = random.nextInt(MAX_UNORDERED_CLIENTS + 1);
+        OrderTrial.Load load = new OrderTrial.Load(
+                keys, unorderedClients, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
         return OrderTrial.play(folder, seed, load, surroundings, actions(seed));
     }
 
+    /** Copied answers in two of three runs, from those that come at once to those that come seconds later. */
+    private static OrderTrial.CopyFault copyFault(SplittableRandom random) {
+        if (random.nextInt(3) == 0) {
+            return OrderTrial.CopyFault.NONE;
+        }
+        int minDelayMs = random.nextInt(MAX_COPY_DELAY_MS);
+        int maxDelayMs = random.nextInt(minDelayMs, MAX_COPY_DELAY_MS + 1);
+        return new OrderTrial.CopyFault(random.nextDouble() / 2, minDelayMs, maxDelayMs, random.nextDouble() / 2);
+    }
+
     /** The signals of a seed, in series. */
     static List<Action> actions(long seed) {
         SplittableRandom random = new SplittableRandom(~seed);
--- a/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -25,6 +25,7 @@
     private final int minDelayMs;
     private final int maxDelayMs;
     private final double faultRatio;
+    private final CopiedAnswers copies;
     private final LoopbackServer server;
 
     /**
@@ -37,13 +38,15 @@
             SplittableRandom random,
             int minDelayMs,
             int maxDelayMs,
-            double faultRatio)
+            double faultRatio,
+            CopiedAnswers copies)
             throws IOException {
         this.history = history;
         this.random = random;
         this.minDelayMs = minDelayMs;
         this.maxDelayMs = maxDelayMs;
         this.faultRatio = faultRatio;
+        this.copies = copies;
         this.server = new LoopbackServer(address, this::serve);
     }
 
@@ -83,7 +86,7 @@
 
     private void end(HttpConnection connection, Call call, CallEnd how, int status, String headers) throws IOException {
         history.callEnded(call, how);
-        connection.answer(status, headers, "");
+        connection.answer(HttpConnection.answer(status, headers, ""), copies);
     }
 
     private synchronized Answer nextAnswer() {
--- a/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
@@ -16,6 +16,7 @@
     private final SplittableRandom random;
     private final int maxDelayMs;
     private final double refusedRatio;
+    private final CopiedAnswers copies;
     private final LoopbackServer server;
     private volatile String list = "";
 
@@ -24,12 +25,18 @@
      * @param refusedRatio how many calls with notifications get 503
      */
     RecordingPlatform(
-            InetAddress address, OrderHistory history, SplittableRandom random, int maxDelayMs, double refusedRatio)
+            InetAddress address,
+            OrderHistory history,
+            SplittableRandom random,
+            int maxDelayMs,
+            double refusedRatio,
+            CopiedAnswers copies)
             throws IOException {
         this.history = history;
         this.random = random;
         this.maxDelayMs = maxDelayMs;
         this.refusedRatio = refusedRatio;
+        this.copies = copies;
         this.server = new LoopbackServer(address, this::serve);
     }
 
@@ -51,9 +58,9 @@
                 if (connection.endsWithin(WATCH_LIMIT_MS)) {
                     return;
                 }
-                connection.answer(200, "", UNCHANGED);
+                connection.answer(HttpConnection.answer(200, "", UNCHANGED), copies);
             } else {
-                connection.answer(200, "", list);
+                connection.answer(HttpConnection.answer(200, "", list), copies);
             }
         }
     }
@@ -65,11 +72,11 @@
             throw new IOException("the dispatcher gave up");
         }
         if (nextIsRefused()) {
-            connection.answer(503, "", "");
+            connection.answer(HttpConnection.answer(503, "", ""), copies);
             return;
         }
         ids.forEach(history::notified);
-        connection.write("HTTP/1.1 204 x\r\n\r\n");
+        connection.answer("HTTP/1.1 204 x\r\n\r\n", copies);
     }
 
     private static List<String> ids(String body) {
--- /dev/null
+++ b/src/test/java/elderseam/scenario/CopiedAnswerTest.java
@@ -0,0 +1,49 @@
+package elderseam.scenario;
+
+import static elderseam.scenario.Scenario.play;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** An answer that comes once more on its connection says nothing of the next request there. */
+class CopiedAnswerTest {
+    private static final String TO = "X-Org: erongo-lettings; X-Addressing: dest=1; X-Remaining: 9000m;";
+
+    @TempDir
+    Path folder;
+
+    /** The watches that wait and that come next get no answer but the copy. */
+    // Guards against issue 53: the copy of an older list is taken for the next one, and brings back a deleted endpoint.
+    @Test
+    void aCopyOfAnOlderListChangesNothing() throws Exception {
+        play(folder, """
+                platform watched 60000
+                platform send h3 SERVING
+                operator wait INFO -> hosts_listed=3
+                platform send h3 DELETED
+                operator wait INFO -> hosts_listed=2
+                platform send mute
+                platform send mute
+                platform repeat 2
+                h1 wait quiet 300
+                operator ask INFO -> hosts_listed=2
+                """);
+    }
+
+    // Guards against issue 53: bytes that no request asked for leave no trace in the log and the metrics.
+    @Test
+    void unexpectedBytesAreLoggedWithTheirConnection() throws Exception {
+        play(folder, """
+                c send POST /status-update; {to} X-Txn: say
+                c expect 202
+                h1 expect say
+                h1 send 200
+                operator wait INFO -> status-update.success=1
+                h1 send 503
+                h1 wait closed
+                relay expect http.unexpected_input count=1 endpoint=h1 connection= ... place=IDLE ... HTTP/1.1 503
+                operator ask INFO -> unexpected_inputs=1
+                """.replace("{to}", TO));
+    }
+}
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -36,6 +36,7 @@
  *            listening too (platform start: again); relay: kill, term
  * deaf N     platform: the next N notices get 503      watched MS   the next watch came so soon after an answer, or
  *            after the platform listens again
+ * repeat N   platform: writes the answer to a watch that told version N once more, on its connection
  * move       platform: listens elsewhere, and no longer answers on what was opened before
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
