Calls to endpoints: an answer that may belong to another call ends none for good

Cause: EndpointExchange takes whatever comes next on its connection as its answer. A copy of an earlier answer that arrives after the request was written ends it; its own answer ends the next one, and so on. Surplus bytes were noticed only on an idle connection or in the same read.

--- a/src/main/java/elderseam/app/ClassArchiveTraining.java
+++ b/src/main/java/elderseam/app/ClassArchiveTraining.java
@@ -5,6 +5,7 @@
 import elderseam.core.Clock;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.ExchangeListener;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
@@ -116,10 +117,11 @@
             return;
         }
         long deadlineNs = io.clock.now() + REQUEST_TIMEOUT_NS;
-        client.send(dispatcher, request(number), deadlineNs, deadlineNs, reply -> {
+        ExchangeListener next = ExchangeListener.ofTrustedPeer(reply -> {
             long nextNs = io.clock.now() + REQUEST_INTERVAL_NS;
             io.at(nextNs, () -> send(client, dispatcher, number + 1));
         });
+        client.send(dispatcher, request(number), deadlineNs, deadlineNs, next);
     }
 
     private static HttpRequest request(int number) {
--- a/src/main/java/elderseam/app/StartupWarmup.java
+++ b/src/main/java/elderseam/app/StartupWarmup.java
@@ -4,6 +4,7 @@
 import elderseam.core.RequestDispatcher;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.ExchangeListener;
 import elderseam.http.HttpRequest;
 import elderseam.http.IoLoop;
 import java.net.InetSocketAddress;
@@ -71,6 +72,7 @@
             return;
         }
         HttpRequest request = requests.get(sent % requests.size());
-        connections.send(self, request, deadlineNs, deadlineNs, reply -> send(sent + 1));
+        ExchangeListener next = ExchangeListener.ofTrustedPeer(reply -> send(sent + 1));
+        connections.send(self, request, deadlineNs, deadlineNs, next);
     }
 }
--- a/src/main/java/elderseam/core/AttemptListener.java
+++ b/src/main/java/elderseam/core/AttemptListener.java
@@ -15,6 +15,17 @@
     /** The attempt has ended. Called exactly once. */
     void ended(AttemptOutcome outcome);
 
+    /** Which connections may carry the attempt. */
+    default ConnectionReuse connectionReuse() {
+        return ConnectionReuse.SINGLE_USE;
+    }
+
+    /**
+     * The attempt ended as delivered, and its response was probably that of another request. Called after {@link #ended},
+     * at most once.
+     */
+    default void refuted() {}
+
     /** The response to a cancelled attempt has arrived late. Called after {@link #ended}, at most once. */
     void answeredLate(AttemptOutcome outcome);
 }
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -22,6 +22,7 @@
     private final EventLoop loop;
     private final Metrics metrics;
     private final RequestLog log;
+    private final OutcomeCorrection corrections;
     private final Map<Byte, AttemptSender> senders = new HashMap<>();
     private final AttemptCounter inFlight = new AttemptCounter();
 
@@ -42,6 +43,7 @@
         this.loop = loop;
         this.metrics = metrics;
         this.log = log;
+        this.corrections = new OutcomeCorrection(dispatcher, settings, journal, clock, metrics);
     }
 
     /** Registers the sender for the requests that a frontend submits. */
@@ -138,6 +140,8 @@
         final String endpoint;
         final long start;
 
+        private boolean delivered; // by the response, not by a late one
+
         private ActiveAttempt(ActiveRequest request, int number, String endpoint, long start) {
             this.request = request;
             this.number = number;
@@ -145,6 +149,11 @@
             this.start = start;
         }
 
+        @Override
+        public ConnectionReuse connectionReuse() {
+            return corrections.connectionReuse(request.message);
+        }
+
         @Override
         public boolean maySend() {
             return !dispatcher.handover().isTransferred() && policy.maySend(clock.now(), request.id(), endpoint);
@@ -171,11 +180,19 @@
             request.mayHaveRun |= outcome.mayHaveRun();
             policy.attemptEnded(clock.now(), request.id(), number, endpoint, start, outcome);
             if (outcome.completesRequest()) {
+                delivered = request.outcome == null;
                 complete(outcome);
             }
             dispatcher.attemptEnded();
         }
 
+        @Override
+        public void refuted() {
+            if (delivered) {
+                corrections.refuted(request, endpoint, start);
+            }
+        }
+
         private void complete(AttemptOutcome outcome) {
             boolean withdrawn = outcome.status() == Status.WITHDRAWN;
             dispatcher.complete(
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -21,6 +21,7 @@
     private long attempts;
     private long localFailures;
     private long unexpectedInputs;
+    private long refutedDeliveries;
 
     /** Creates the counters of {@code classes} message classes. */
     Metrics(int classes) {
@@ -60,6 +61,11 @@
         unexpectedInputs++;
     }
 
+    /** Counts a request whose delivery was refuted by a further response; its delivery stays counted. */
+    void deliveryRefuted() {
+        refutedDeliveries++;
+    }
+
     /**
      * Appends one line per counter. A reason has a line only after a request was rejected or failed for that reason.
      *
@@ -82,6 +88,9 @@
         if (unexpectedInputs > 0) {
             lines.add(PREFIX + "unexpected_inputs=" + unexpectedInputs);
         }
+        if (refutedDeliveries > 0) {
+            lines.add(PREFIX + "refuted_deliveries=" + refutedDeliveries);
+        }
         undelivered.forEach((reason, count) -> lines.add(PREFIX + "undelivered." + reason.label() + "=" + count));
     }
 }
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -39,7 +39,7 @@
                 new HttpRequest("POST", "/events", event.headers(), event.payload()),
                 connectBy,
                 answerBy,
-                new AttemptExchange(listener, EventAttemptSender::classify))::cancel;
+                new AttemptExchange(listener, listener.connectionReuse(), EventAttemptSender::classify))::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -8,6 +8,7 @@
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
+import elderseam.core.ConnectionReuse;
 import elderseam.core.EndpointCall;
 import elderseam.core.SettingsMap;
 import elderseam.http.AttemptExchange;
@@ -17,6 +18,7 @@
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -104,7 +106,10 @@
                 new BatchExchange(batch))::cancel;
     }
 
-    /** Passes the events of a shared call to the listener of each attempt. */
+    /**
+     * Passes the events of a shared call to the listener of each attempt. A delivery can't be refuted, since the response
+     * names the ids of the messages.
+     */
     private final class BatchExchange implements ExchangeListener {
         private final List<CallEntry> batch;
 
@@ -112,6 +117,15 @@
             this.batch = batch;
         }
 
+        /** The strictest of what its messages allow; {@link ConnectionReuse} has the stricter ones last. */
+        @Override
+        public ConnectionReuse connectionReuse() {
+            return batch.stream()
+                    .map(entry -> entry.listener().connectionReuse())
+                    .max(Comparator.naturalOrder())
+                    .orElseThrow();
+        }
+
         @Override
         public boolean maySend() {
             return batch.stream().allMatch(entry -> entry.listener().maySend());
@@ -165,11 +179,13 @@
         }
         headers.put(PlatformRequestDecoder.REMAINING_HEADER, remainingHeaderValue(answerBy));
         return connections.send(
-                endpoints.addressOf(endpoint),
-                new HttpRequest("POST", PATH, headers, message.body()),
-                connectBy,
-                answerBy,
-                new AttemptExchange(listener, result -> classify(result, loadReportFields)))::cancel;
+                        endpoints.addressOf(endpoint),
+                        new HttpRequest("POST", PATH, headers, message.body()),
+                        connectBy,
+                        answerBy,
+                        new AttemptExchange(
+                                listener, listener.connectionReuse(), result -> classify(result, loadReportFields)))
+                ::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/http/AttemptExchange.java
+++ b/src/main/java/elderseam/http/AttemptExchange.java
@@ -3,19 +3,31 @@
 import elderseam.core.AttemptConnection;
 import elderseam.core.AttemptListener;
 import elderseam.core.AttemptOutcome;
+import elderseam.core.ConnectionReuse;
 import java.util.function.Function;
 
 /** Passes the events of an exchange with a single message to the listener of its attempt. Confined to the I/O thread. */
 public final class AttemptExchange implements ExchangeListener {
     private final AttemptListener attempt;
+    private final ConnectionReuse reuse;
     private final Function<HttpResult, AttemptOutcome> classifier;
 
-    /** {@code classifier}: the outcome of the attempt, by the result of its exchange. */
-    public AttemptExchange(AttemptListener attempt, Function<HttpResult, AttemptOutcome> classifier) {
+    /**
+     * @param reuse which connections may carry the attempt
+     * @param classifier the outcome of the attempt, by the result of its exchange
+     */
+    public AttemptExchange(
+            AttemptListener attempt, ConnectionReuse reuse, Function<HttpResult, AttemptOutcome> classifier) {
         this.attempt = attempt;
+        this.reuse = reuse;
         this.classifier = classifier;
     }
 
+    @Override
+    public ConnectionReuse connectionReuse() {
+        return reuse;
+    }
+
     @Override
     public boolean maySend() {
         return attempt.maySend();
@@ -40,4 +52,9 @@
     public void ended(HttpResult result) {
         attempt.ended(classifier.apply(result));
     }
+
+    @Override
+    public void refuted() {
+        attempt.refuted();
+    }
 }
--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -1,6 +1,11 @@
 package elderseam.http;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSinkChannel;
@@ -14,6 +19,9 @@
     /** The byte count that XNIO's channels return at the end of a stream. */
     static final int END_OF_STREAM = -1;
 
+    private static final int MAX_UNSETTLED = 16;
+    private static final byte[] SUCCESS_START = "HTTP/1.1 2".getBytes(StandardCharsets.US_ASCII);
+
     final StreamConnection channel;
 
     /** The endpoint on the other side. */
@@ -28,7 +36,10 @@
     private final EndpointConnectionPool pool;
     private EndpointExchange exchange; // the exchange in progress; null if none
     private EndpointExchange cancelledExchange; // the exchange that awaits a late response; null if none
+    private final ArrayDeque<EndpointExchange> unsettled = new ArrayDeque<>(0); // the latest last
     private int answeredExchanges;
+    private long lastWrittenNs;
+    private boolean onlySuccesses = true;
     private boolean closed;
 
     /** Creates a connection that carries the given exchange, and starts to read from the channel. */
@@ -62,8 +73,33 @@
     }
 
     /** Counts an exchange that got a complete response. */
-    void exchangeAnswered() {
+    void exchangeAnswered(boolean success) {
         answeredExchanges++;
+        onlySuccesses &= success;
+    }
+
+    /** Whether all responses so far were successful. */
+    boolean hasOnlySuccesses() {
+        return onlySuccesses;
+    }
+
+    /** The last byte of a request was written. */
+    void requestWritten(long now) {
+        lastWrittenNs = now;
+    }
+
+    /** When the last byte of the latest request was written. */
+    long lastWrittenNs() {
+        return lastWrittenNs;
+    }
+
+    /** An exchange ended successfully by a response that may belong to another one; further input can refute it. */
+    void addUnsettled(EndpointExchange answered, long now) {
+        unsettled.removeIf(earlier -> earlier.answerBy() <= now);
+        if (unsettled.size() >= MAX_UNSETTLED) {
+            unsettled.removeFirst();
+        }
+        unsettled.add(answered);
     }
 
     /** Returns the channel to which the request is written. */
@@ -111,11 +147,41 @@
     boolean hasNoUnexpectedInput(UnexpectedInput.Place place) {
         int count = read();
         if (count > 0) {
-            pool.unexpectedInput().record(this, place, pool.readBuffer);
+            unexpectedInput(place);
         }
         return count == 0;
     }
 
+    /**
+     * Records the unread bytes in the pool's buffer, which answer no request. Unless they begin another successful
+     * response, they refute the unsettled responses: one of the requests was not answered successfully.
+     *
+     * @return whether they begin another successful response
+     */
+    boolean unexpectedInput(UnexpectedInput.Place place) {
+        pool.unexpectedInput().record(this, place, pool.readBuffer);
+        pool.reuseRules().unexpectedInput(endpoint);
+        boolean success = startsWithSuccess(pool.readBuffer);
+        if (!success) {
+            long now = pool.io.clock.now();
+            List<EndpointExchange> refuted = unsettled.stream()
+                    .filter(exchange -> exchange.answerBy() > now)
+                    .toList();
+            unsettled.clear();
+            refuted.forEach(exchange -> pool.io.run(exchange::refuted));
+        }
+        return success;
+    }
+
+    private static boolean startsWithSuccess(ByteBuffer bytes) {
+        if (bytes.remaining() < SUCCESS_START.length) {
+            return false;
+        }
+        byte[] start = new byte[SUCCESS_START.length];
+        bytes.get(bytes.position(), start);
+        return Arrays.equals(start, SUCCESS_START);
+    }
+
     /** Reads all input that has arrived and passes it to the exchange that expects it. */
     void readAvailable() {
         for (int count = read(); count != 0 && !closed; count = read()) {
@@ -131,7 +197,7 @@
 
     private void receiveWhileIdle(int count) {
         if (count > 0) {
-            pool.unexpectedInput().record(this, UnexpectedInput.Place.IDLE, pool.readBuffer);
+            unexpectedInput(UnexpectedInput.Place.IDLE);
         }
         pool.removeIdle(this);
         close();
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -1,6 +1,7 @@
 package elderseam.http;
 
 import elderseam.core.Clock;
+import elderseam.core.ConnectionReuse;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,10 +15,14 @@
  * connections is limited. A connection carries one exchange at a time (no pipelining), and the pool itself never
  * retries a request.
  *
- * <p>When an exchange is cancelled or times out, its connection may be half-closed, so that the endpoint can detect
- * that the response is no longer awaited. The connection is then read for a short time, for a late response, and
- * closed. A connection is closed at once if its response was malformed or was followed by surplus bytes. Confined to
- * the I/O thread.
+ * <p>HTTP/1.1 matches a response to its request by its place on the connection alone. So a connection is used again
+ * only by {@link EndpointReuseRules}, and for those requests that allow it, by {@link ConnectionReuse}. A response on a connection that was used before remains unsettled until its request would have timed
+ * out: another response before that refutes it.
+ *
+ * <p>When the first exchange of a connection is cancelled or times out, the connection may be half-closed, so that the
+ * endpoint can detect that the response is no longer awaited. The connection is then read for a short time, for a late
+ * response, and closed. A connection is closed at once if its response was malformed or was followed by surplus bytes.
+ * Confined to the I/O thread.
  */
 public final class EndpointConnectionPool {
     private static final long SWEEP_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
@@ -28,10 +33,12 @@
     private static final int MAX_HALF_CLOSED = 32;
     private static final int READ_BUFFER_BYTES = 16 << 10;
     private static final int INITIAL_IDLE_CAPACITY = 2;
+    private static final ArrayDeque<EndpointConnection> NO_CONNECTIONS = new ArrayDeque<>(0);
 
     final IoLoop io;
     private final LocalFailures localFailures;
     private final UnexpectedInput unexpectedInput;
+    private final EndpointReuseRules reuseRules;
     final int maxResponseBytes;
 
     /** The bytes of the last read on any of the connections; valid only until the next read. */
@@ -58,6 +65,7 @@
         this.io = io;
         this.localFailures = new LocalFailures(io.clock);
         this.unexpectedInput = new UnexpectedInput(io.clock);
+        this.reuseRules = new EndpointReuseRules(io.clock);
         this.maxIdleNs = maxIdleNs;
         this.maxConnections = maxConnections;
         this.maxResponseBytes = maxResponseBytes;
@@ -101,25 +109,52 @@
     }
 
     /**
-     * Removes the most recently used idle connection to an endpoint that is still usable, and returns it; null if there
-     * is none.
+     * Removes the idle connection to an endpoint that is best for the request, and returns it; null if none may carry it.
+     * Connections that prove unusable are closed.
      */
-    EndpointConnection acquireIdle(EndpointAddress endpoint) {
-        ArrayDeque<EndpointConnection> connections = idle.get(endpoint);
+    EndpointConnection acquireIdle(EndpointAddress endpoint, ConnectionReuse reuse) {
+        ArrayDeque<EndpointConnection> connections = idle.getOrDefault(endpoint, NO_CONNECTIONS);
         EndpointConnection usable = null;
-        while (usable == null && connections != null && !connections.isEmpty()) {
-            EndpointConnection candidate = connections.pollLast();
-            if (io.clock.now() - candidate.stateSinceNs < maxIdleNs
-                    && candidate.hasNoUnexpectedInput(UnexpectedInput.Place.IDLE)) {
-                usable = candidate;
-            } else {
-                candidate.close();
-            }
+        EndpointConnection candidate = reuseRules.best(connections, reuse);
+        while (usable == null && candidate != null) {
+            connections.remove(candidate);
+            usable = closeUnlessUsable(candidate);
+            candidate = reuseRules.best(connections, reuse);
         }
         removeEmptyQueue(endpoint);
         return usable;
     }
 
+    private EndpointConnection closeUnlessUsable(EndpointConnection connection) {
+        boolean expired = io.clock.now() - connection.stateSinceNs >= maxIdleNs;
+        if (!expired && connection.hasNoUnexpectedInput(UnexpectedInput.Place.IDLE)) {
+            return connection;
+        }
+        connection.close();
+        return null;
+    }
+
+    /** Returns the rules by which idle connections are used again. */
+    EndpointReuseRules reuseRules() {
+        return reuseRules;
+    }
+
+    /**
+     * Whether a connection is kept after a response. One for a request that can't use most connections is kept only if
+     * none like it is idle, so that idle connections don't add up.
+     */
+    boolean keepsOpen(EndpointAddress endpoint, ConnectionReuse reuse) {
+        return switch (reuse) {
+            case SINGLE_USE -> false;
+            case NEW, SETTLED ->
+                reuseRules.mayReuse(endpoint)
+                        && idle.getOrDefault(endpoint, NO_CONNECTIONS).stream()
+                                .noneMatch(EndpointConnection::hasOnlySuccesses);
+            case QUIET, QUIET_AFTER_SUCCESS -> reuseRules.mayReuse(endpoint);
+            case TRUSTED_PEER -> true;
+        };
+    }
+
     /** Adds an idle connection, for the next exchange with that endpoint. */
     void addIdle(EndpointAddress endpoint, EndpointConnection connection) {
         connection.stateSinceNs = io.clock.now();
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -4,6 +4,7 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
+import elderseam.core.ConnectionReuse;
 import elderseam.http.UnexpectedInput.Place;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -31,6 +32,7 @@
     private final long connectBy;
     private final long answerBy;
     private final ExchangeListener listener;
+    private final ConnectionReuse reuse;
     private final HttpResponseReader response;
     private Progress progress = Progress.NOT_CONNECTED;
     private EndpointConnection connection; // null until acquired or established
@@ -56,6 +58,7 @@
         this.connectBy = connectBy;
         this.answerBy = answerBy;
         this.listener = listener;
+        this.reuse = listener.connectionReuse();
         this.response = new HttpResponseReader(pool.maxResponseBytes);
     }
 
@@ -65,7 +68,7 @@
     }
 
     void start() {
-        connection = pool.acquireIdle(endpoint);
+        connection = pool.acquireIdle(endpoint, reuse);
         if (connection == null) {
             connect();
             return;
@@ -156,6 +159,7 @@
             }
             if (!finished) {
                 sink.suspendWrites();
+                connection.requestWritten(pool.io.clock.now());
                 progress = Progress.WRITTEN; // from this point on the endpoint may have executed the request
                 listener.written(new AttemptConnection(connection.number, connection.answeredExchanges()));
             }
@@ -173,17 +177,14 @@
     boolean receive(int count) {
         if (progress == Progress.NOT_CONNECTED) {
             if (count > 0) {
-                pool.unexpectedInput().record(connection, Place.BEFORE_REQUEST, pool.readBuffer);
+                connection.unexpectedInput(Place.BEFORE_REQUEST);
             }
             handleEarlyInput();
             return true;
         }
         parse(count);
         if (response.isComplete()) {
-            boolean reusable = isConnectionReusable(count);
-            connection.exchangeAnswered();
-            progress = Progress.ANSWERED;
-            finish(reusable ? null : Status.ERROR);
+            receiveComplete(count);
         } else if (response.isMalformed()) {
             boolean anyInput = responseStarted || count > 0;
             finish(anyInput ? Status.ERROR : Status.BROKEN);
@@ -216,16 +217,54 @@
         }
     }
 
-    /** Whether the whole request was written and nothing but the complete response was read. */
-    private boolean isConnectionReusable(int count) {
-        if (count > 0 && pool.readBuffer.hasRemaining()) {
-            pool.unexpectedInput().record(connection, Place.AFTER_RESPONSE, pool.readBuffer);
-            return false;
+    private void receiveComplete(int count) {
+        boolean certain = isCertain();
+        boolean written = progress == Progress.WRITTEN;
+        boolean surplus = count > 0 && pool.readBuffer.hasRemaining();
+        boolean contradicted = surplus && !connection.unexpectedInput(Place.AFTER_RESPONSE);
+        if (!certain && (contradicted || !written)) {
+            finish(Status.ERROR); // the response may be that of an earlier request
+            return;
+        }
+        if (!certain && isSuccess()) {
+            connection.addUnsettled(this, pool.io.clock.now());
         }
-        return count > 0
+        boolean reusable = count > 0
+                && !surplus
+                && written
                 && response.allowsReuse()
-                && progress == Progress.WRITTEN
+                && !mayBeCopiedRejection()
                 && connection.hasNoUnexpectedInput(Place.AFTER_RESPONSE);
+        if (written) {
+            pool.reuseRules().answered(endpoint, pool.io.clock.now() - connection.lastWrittenNs());
+        }
+        progress = Progress.ANSWERED;
+        connection.exchangeAnswered(isSuccess());
+        finish(reusable ? null : Status.ERROR);
+    }
+
+    /** Whether input on the connection can only be the response to this request. */
+    private boolean isCertain() {
+        return connection.answeredExchanges() == 0 || reuse == ConnectionReuse.TRUSTED_PEER;
+    }
+
+    /** Whether the response is a rejection that may be the copy of an earlier one on the connection. */
+    private boolean mayBeCopiedRejection() {
+        return !isCertain() && !isSuccess() && !connection.hasOnlySuccesses();
+    }
+
+    private boolean isSuccess() {
+        return response.statusCode() / 100 == 2;
+    }
+
+    /** The time by which the whole response must have arrived. */
+    long answerBy() {
+        return answerBy;
+    }
+
+    /** The response on which the exchange ended was probably that of another request. */
+    void refuted() {
+        listener.refuted();
     }
 
     /** Ends the exchange without a response, unless input that has already arrived completes the response. */
@@ -267,10 +306,13 @@
         } else if (connecting != null) {
             connecting.cancel();
         }
-        listener.ended(
-                progress == Progress.ANSWERED
-                        ? completeResult()
-                        : HttpResult.unanswered(progress, failure, response.statusCode()));
+        listener.ended(progress == Progress.ANSWERED ? completeResult() : unansweredResult(failure));
+    }
+
+    /** The status of an incomplete response counts only if it can't be that of another request. */
+    private HttpResult unansweredResult(Status failure) {
+        boolean certain = connection == null || isCertain();
+        return HttpResult.unanswered(progress, failure, certain ? response.statusCode() : 0);
     }
 
     private HttpResult completeResult() {
@@ -280,7 +322,8 @@
     private void releaseConnection(Status failure) {
         connection.detach();
         boolean unused = failure == Status.NOT_STARTED && progress == Progress.NOT_CONNECTED;
-        if (failure == null || unused) {
+        boolean unsettled = connection.answeredExchanges() > 1; // read on, for a response that refutes this one
+        if (unused || (failure == null && (unsettled || pool.keepsOpen(endpoint, reuse)))) {
             pool.addIdle(endpoint, connection);
         } else if (!mayRespondLate(failure) || !connection.halfClose(this)) {
             connection.close();
@@ -289,6 +332,7 @@
 
     private boolean mayRespondLate(Status failure) {
         return listener.awaitsLateResult()
+                && isCertain()
                 && progress == Progress.WRITTEN
                 && (failure == Status.TIMED_OUT || failure == Status.ABANDONED);
     }
--- a/src/main/java/elderseam/http/ExchangeListener.java
+++ b/src/main/java/elderseam/http/ExchangeListener.java
@@ -1,6 +1,8 @@
 package elderseam.http;
 
 import elderseam.core.AttemptConnection;
+import elderseam.core.ConnectionReuse;
+import java.util.function.Consumer;
 
 /**
  * Receives the events of one exchange of an {@link EndpointConnectionPool}. Called on the I/O thread, never from within
@@ -8,6 +10,26 @@
  */
 @FunctionalInterface
 public interface ExchangeListener {
+    /** A listener for an exchange with this program itself, whose connections need no protection from stray responses. */
+    static ExchangeListener ofTrustedPeer(Consumer<HttpResult> onEnded) {
+        return new ExchangeListener() {
+            @Override
+            public ConnectionReuse connectionReuse() {
+                return ConnectionReuse.TRUSTED_PEER;
+            }
+
+            @Override
+            public void ended(HttpResult result) {
+                onEnded.accept(result);
+            }
+        };
+    }
+
+    /** Which connections may carry the request. */
+    default ConnectionReuse connectionReuse() {
+        return ConnectionReuse.TRUSTED_PEER;
+    }
+
     /** Called before each write; once it returns false, nothing more is written. */
     default boolean maySend() {
         return true;
@@ -18,7 +40,7 @@
 
     /**
      * Whether a response that arrives after the exchange was cancelled or timed out is of use. If not, its connection is
-     * closed at once.
+     * closed at once, as is one that was used before.
      */
     default boolean awaitsLateResult() {
         return false;
@@ -29,4 +51,10 @@
 
     /** The exchange has ended. Called exactly once. */
     void ended(HttpResult result);
+
+    /**
+     * The response with which the exchange ended successfully was probably that of another request: a further response
+     * has arrived on a connection that had been used before. Called at most once, after {@link #ended}.
+     */
+    default void refuted() {}
 }
--- a/src/test/java/elderseam/http/ConnectionCloseTest.java
+++ b/src/test/java/elderseam/http/ConnectionCloseTest.java
@@ -315,7 +315,8 @@
                         + server.address().getPort());
         CompletableFuture<HttpResult> result = new CompletableFuture<>();
         long deadline = io.clock.now() + 9_000 * Clock.MILLISECOND_NS;
-        io.run(() -> pool.send(endpoint, HttpRequest.get("/now"), deadline, deadline, result::complete));
+        ExchangeListener listener = ExchangeListener.ofTrustedPeer(result::complete); // the connection stays open
+        io.run(() -> pool.send(endpoint, HttpRequest.get("/now"), deadline, deadline, listener));
         assertEquals(200, result.get(TIMEOUT_S, TimeUnit.SECONDS).code());
 
         CompletableFuture<List<Boolean>> noDelay = new CompletableFuture<>();
--- a/src/test/java/elderseam/scenario/CopiedAnswerTest.java
+++ b/src/test/java/elderseam/scenario/CopiedAnswerTest.java
@@ -46,4 +46,47 @@
                 operator ask INFO -> unexpected_inputs=1
                 """.replace("{to}", TO));
     }
+
+    /** A connection has carried one message, and the copy of that answer meets the next one. */
+    private void playsCopyAcross(String path, String pauseMs, String end) throws Exception {
+        play(folder, """
+                c send POST /status-update; {to} X-Txn: first
+                c expect 202
+                h1 expect X-Txn: first
+                h1 send 200
+                operator wait INFO -> status-update.success=1
+                h1 wait quiet {pause}
+                c send POST /{path}; {to} X-Txn: second
+                c expect 202
+                h1 expect X-Txn: second
+                h1 send 200
+                operator wait INFO -> {path}.success={count}
+                h1 send 503
+                relay expect request.delivery_refuted id=second
+                {end}
+                """.replace("{to}", TO)
+                .replace("{count}", path.equals("status-update") ? "2" : "1")
+                .replace("{path}", path)
+                .replace("{pause}", pauseMs)
+                .replace("{end}", end));
+    }
+
+    // Guards against issue 53: a copied 200 ends a message whose own answer is 503, and it is lost.
+    @Test
+    void aRepeatableMessageThatACopyEndedIsAttemptedAgain() throws Exception {
+        playsCopyAcross("status-update", "300", """
+                h1 expect X-Txn: second
+                h1 send 200
+                platform wait quiet 200
+                """);
+    }
+
+    // Guards against issue 53: as above, for a message that must not be sent again: its client is notified instead.
+    @Test
+    void aOnceOnlyMessageThatACopyEndedFails() throws Exception {
+        playsCopyAcross("rent-payment", "900", """
+                platform expect second; undeliverable
+                h1 wait quiet 300
+                """);
+    }
 }
