Notifications, discovery, handover proxy, CloudEvents: one call on a connection

What callers saw: notifications that never came (a copied 204 acknowledged the next ones), an endpoint back that discovery had deleted (a copy of an older list taken as the answer to the next watch).

These answers can't be corrected later, so their requests go out on connections that have carried nothing. The version of a list is not compared, as before: a moved or restarted discovery may count anew.

Evidence: aCopyOfAnOlderListChangesNothing failed since (hosts_listed=3), passes now. theNextWatchIsOnANewConnection counts 3 and 4 connections in place of 2 and 3, since the watch after the first answer has one of its own; what it asserts, a new connection for the watch after a silent one, holds as before.

--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -7,6 +7,7 @@
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
 import elderseam.core.Clock;
+import elderseam.core.ConnectionReuse;
 import elderseam.core.EndpointCall;
 import elderseam.http.AttemptExchange;
 import elderseam.http.EndpointAddress;
@@ -16,7 +17,10 @@
 import java.util.function.Function;
 import java.util.regex.Pattern;
 
-/** Delivers events to endpoints in binary mode. Confined to the I/O thread. */
+/**
+ * Delivers events to endpoints in binary mode, each on a new connection: the client gets the outcome at once, so that it can't
+ * be corrected. Confined to the I/O thread.
+ */
 public final class EventAttemptSender implements AttemptSender {
     private static final Pattern RETRY_AFTER_SECONDS = Pattern.compile("\\d{1,6}(\\.\\d{1,9})?");
     private static final double MS_PER_SECOND = 1_000;
@@ -39,7 +43,7 @@
                 new HttpRequest("POST", "/events", event.headers(), event.payload()),
                 connectBy,
                 answerBy,
-                new AttemptExchange(listener, listener.connectionReuse(), EventAttemptSender::classify))::cancel;
+                new AttemptExchange(listener, ConnectionReuse.NEW, EventAttemptSender::classify))::cancel;
     }
 
     @Override
--- a/src/main/java/elderseam/http/EndpointReuseRules.java
+++ b/src/main/java/elderseam/http/EndpointReuseRules.java
@@ -10,7 +10,7 @@
  * Decides when an idle connection may carry another request. It must have been quiet for a while, and for at least as
  * long after its last request as the endpoint usually takes to answer: if a stray response was taken for the answer, the
  * real one arrives before the next request is written. After unexpected input, the connections of that endpoint are not
- * reused for a while. Confined to the I/O thread.
+ * reused for a while, and after such input from two endpoints, no connections. Confined to the I/O thread.
  */
 final class EndpointReuseRules {
     /** Minimum time between the last input and the next request on a connection. */
@@ -43,6 +43,8 @@
         }
     };
 
+    private long allDistrustedUntil = Long.MIN_VALUE;
+
     EndpointReuseRules(Clock clock) {
         this.clock = clock;
     }
@@ -54,15 +56,22 @@
         history.answerTimeNs += (long) change;
     }
 
-    /** Unexpected input has arrived from an endpoint. */
+    /** Unexpected input has arrived from an endpoint. If another one is distrusted already, so are all. */
     void unexpectedInput(EndpointAddress endpoint) {
-        history(endpoint).distrustedUntil = clock.now() + DISTRUST_NS;
+        long now = clock.now();
+        boolean several = endpoints.entrySet().stream()
+                .anyMatch(other -> !other.getKey().equals(endpoint) && now < other.getValue().distrustedUntil);
+        history(endpoint).distrustedUntil = now + DISTRUST_NS;
+        if (several) {
+            allDistrustedUntil = now + DISTRUST_NS;
+        }
     }
 
     /** Whether connections of the endpoint may carry more than one request. */
     boolean mayReuse(EndpointAddress endpoint) {
         EndpointHistory history = endpoints.get(endpoint);
-        return history == null || clock.now() >= history.distrustedUntil;
+        long distrustedUntil = history == null ? Long.MIN_VALUE : history.distrustedUntil;
+        return clock.now() >= Math.max(distrustedUntil, allDistrustedUntil);
     }
 
     /**
@@ -109,7 +118,7 @@
         EndpointHistory history = history(connection.endpoint);
         boolean quiet = now - connection.stateSinceNs >= QUIET_NS;
         boolean answered = now - connection.lastWrittenNs() >= history.answerTimeNs;
-        return quiet && answered && now >= history.distrustedUntil;
+        return quiet && answered && mayReuse(connection.endpoint);
     }
 
     private boolean isSettled(EndpointConnection connection) {
--- a/src/main/java/elderseam/http/ExchangeListener.java
+++ b/src/main/java/elderseam/http/ExchangeListener.java
@@ -27,7 +27,7 @@
 
     /** Which connections may carry the request. */
     default ConnectionReuse connectionReuse() {
-        return ConnectionReuse.TRUSTED_PEER;
+        return ConnectionReuse.SINGLE_USE;
     }
 
     /** Called before each write; once it returns false, nothing more is written. */
