--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -155,9 +155,7 @@
         EndpointConnectionPool platform =
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
-        io.onStall(dispatcher::eventLoopStalled);
-        endpointConnections.onUnexpectedInput(dispatcher::unexpectedInputReceived);
-        platform.onUnexpectedInput(dispatcher::unexpectedInputReceived);
+        reportToDispatcher(platform);
         liveConfiguration = new LiveConfiguration(
                 new LiveConfiguration.RuleTargets(io, dispatcher, journal), config, settings, startup.settingsFile());
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
@@ -184,6 +182,13 @@
         transfer = new OwnershipTransfer(io, startup.ownership().lock(), transferable);
     }
 
+    /** Lets the dispatcher know of stalls, and of bytes on connections that answer no request. */
+    private void reportToDispatcher(EndpointConnectionPool platform) {
+        io.onStall(dispatcher::eventLoopStalled);
+        endpointConnections.onUnexpectedInput(dispatcher::unexpectedInputReceived);
+        platform.onUnexpectedInput(dispatcher::unexpectedInputReceived);
+    }
+
     /**
      * Opens the platform's listener, and the CloudEvents frontend where it is on or owes anything; else null, and none
      * of it is loaded.
--- a/src/main/java/elderseam/policy/AnswerTrust.java
+++ b/src/main/java/elderseam/policy/AnswerTrust.java
@@ -8,8 +8,8 @@
     private AnswerTrust() {}
 
     /**
-     * Whether the final outcome of a request can still be corrected. That of an ordered request can't, since the next one
-     * of its key is attempted at once.
+     * Whether the final outcome of a request can still be corrected. That of an ordered request can't, since the next
+     * one of its key is attempted at once.
      */
     public static boolean isCorrectable(RequestClass requestClass) {
         return !requestClass.ordered();
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -141,8 +141,7 @@
             127, (byte) (100 + ProcessHandle.current().pid() % 100), (byte) random.nextInt(250), 1
         });
         dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
-        CopiedAnswers copies = new CopiedAnswers(surroundings.copies(), new SplittableRandom(seed));
-        open.add(copies);
+        CopiedAnswers copies = startCopies(surroundings, seed);
         RecordingPlatform platform = new RecordingPlatform(
                 own,
                 history,
@@ -174,6 +173,12 @@
         clock.ifPresent(stepped -> variables.putAll(stepped.environment()));
     }
 
+    private CopiedAnswers startCopies(Surroundings surroundings, long seed) {
+        CopiedAnswers copies = new CopiedAnswers(surroundings.copies(), new SplittableRandom(seed));
+        open.add(copies);
+        return copies;
+    }
+
     /** Starts the endpoints; the list that names them. */
     private String startEndpoints(InetAddress address, Surroundings surroundings, CopiedAnswers copies)
             throws IOException {
