--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -16,8 +16,9 @@
  * retries a request.
  *
  * <p>HTTP/1.1 matches a response to its request by its place on the connection alone. So a connection is used again
- * only by {@link EndpointReuseRules}, and for those requests that allow it, by {@link ConnectionReuse}. A response on a connection that was used before remains unsettled until its request would have timed
- * out: another response before that refutes it.
+ * only by {@link EndpointReuseRules}, and for those requests that allow it, by {@link ConnectionReuse}. A success on a
+ * connection that was used before remains unsettled until its request would have timed out: a further response that is
+ * no success refutes it.
  *
  * <p>When the first exchange of a connection is cancelled or times out, the connection may be half-closed, so that the
  * endpoint can detect that the response is no longer awaited. The connection is then read for a short time, for a late
