Endpoint connections: log and count responses that are not believed, with what they held

An answer that ended its exchange as ERROR (incomplete, malformed, or perhaps another request's) left no trace: neither its status nor the wait that it told. The limit on log lines, which stood three times, is LogThrottle; the two listeners of a pool are one interface. aDiscardedAnswerIsLoggedWithWhatItHeld fails without it (no such event), and passes. CopiedAnswerTest, LogEventsTest, LocalFailuresTest: passed.

--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -182,11 +182,11 @@
         transfer = new OwnershipTransfer(io, startup.ownership().lock(), transferable);
     }
 
-    /** Lets the dispatcher know of stalls, and of bytes on connections that answer no request. */
+    /** Lets the dispatcher know of stalls, and of responses that are not as they should be. */
     private void reportToDispatcher(EndpointConnectionPool platform) {
         io.onStall(dispatcher::eventLoopStalled);
-        endpointConnections.onUnexpectedInput(dispatcher::unexpectedInputReceived);
-        platform.onUnexpectedInput(dispatcher::unexpectedInputReceived);
+        endpointConnections.setAnomalyListener(dispatcher.responseAnomalies());
+        platform.setAnomalyListener(dispatcher.responseAnomalies());
     }
 
     /**
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** The counters that are reported to operators. They start at 0 with the process. Confined to the event-loop thread. */
-final class Metrics {
+final class Metrics implements ResponseAnomalyListener {
     private static final String PREFIX = "edge_relay.";
 
     /** The counters of one message class. */
@@ -21,6 +21,7 @@
     private long attempts;
     private long localFailures;
     private long unexpectedInputs;
+    private long discardedResponses;
     private long refutedDeliveries;
 
     /** Creates the counters of {@code classes} message classes. */
@@ -56,11 +57,16 @@
         localFailures++;
     }
 
-    /** Counts bytes from an endpoint or the platform that answer no request. */
-    void unexpectedInputReceived() {
+    @Override
+    public void unexpectedInputReceived() {
         unexpectedInputs++;
     }
 
+    @Override
+    public void responseDiscarded() {
+        discardedResponses++;
+    }
+
     /** Counts a request whose delivery was refuted by a further response; its delivery stays counted. */
     void deliveryRefuted() {
         refutedDeliveries++;
@@ -88,6 +94,9 @@
         if (unexpectedInputs > 0) {
             lines.add(PREFIX + "unexpected_inputs=" + unexpectedInputs);
         }
+        if (discardedResponses > 0) {
+            lines.add(PREFIX + "discarded_responses=" + discardedResponses);
+        }
         if (refutedDeliveries > 0) {
             lines.add(PREFIX + "refuted_deliveries=" + refutedDeliveries);
         }
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -201,9 +201,9 @@
         decisions.run();
     }
 
-    /** Counts bytes from an endpoint or the platform that answer no request. */
-    public void unexpectedInputReceived() {
-        metrics.unexpectedInputReceived();
+    /** The counters of responses that are not as they should be. */
+    public ResponseAnomalyListener responseAnomalies() {
+        return metrics;
     }
 
     /** As {@link #submit(ActiveRequest.Message, List)}, without alternate deduplication keys. */
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -2,6 +2,7 @@
 
 import elderseam.core.Clock;
 import elderseam.core.ConnectionReuse;
+import elderseam.core.ResponseAnomalyListener;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -39,6 +40,7 @@
     final IoLoop io;
     private final LocalFailures localFailures;
     private final UnexpectedInput unexpectedInput;
+    private final DiscardedResponses discardedResponses;
     private final EndpointReuseRules reuseRules;
     final int maxResponseBytes;
 
@@ -66,6 +68,7 @@
         this.io = io;
         this.localFailures = new LocalFailures(io.clock);
         this.unexpectedInput = new UnexpectedInput(io.clock);
+        this.discardedResponses = new DiscardedResponses(io.clock);
         this.reuseRules = new EndpointReuseRules(io.clock);
         this.maxIdleNs = maxIdleNs;
         this.maxConnections = maxConnections;
@@ -90,9 +93,10 @@
         List.copyOf(idle.keySet()).forEach(this::closeIdle);
     }
 
-    /** Sets the listener that is called whenever bytes arrive that answer no request. A second call replaces it. */
-    public void onUnexpectedInput(Runnable listener) {
-        unexpectedInput.onRecorded(listener);
+    /** Sets the listener that is called for each response that is not as it should be. A second call replaces it. */
+    public void setAnomalyListener(ResponseAnomalyListener listener) {
+        unexpectedInput.setListener(listener);
+        discardedResponses.setListener(listener);
     }
 
     /**
@@ -208,6 +212,11 @@
         return unexpectedInput;
     }
 
+    /** Returns the counter and log of responses that are not believed. */
+    DiscardedResponses discardedResponses() {
+        return discardedResponses;
+    }
+
     /** Returns the number of the next connection, from 1. */
     long nextConnectionNumber() {
         return ++connectionsCreated;
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -5,6 +5,7 @@
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
 import elderseam.core.ConnectionReuse;
+import elderseam.http.DiscardedResponses.Reason;
 import elderseam.http.UnexpectedInput.Place;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -302,6 +303,7 @@
             timer.remove();
         }
         if (connection != null) {
+            recordIfDiscarded();
             releaseConnection(failure);
         } else if (connecting != null) {
             connecting.cancel();
@@ -309,6 +311,16 @@
         listener.ended(progress == Progress.ANSWERED ? completeResult() : unansweredResult(failure));
     }
 
+    private void recordIfDiscarded() {
+        if (progress == Progress.ANSWERED || response.statusCode() == 0) {
+            return;
+        }
+        Reason reason = response.isComplete()
+                ? Reason.UNCERTAIN
+                : response.isMalformed() ? Reason.MALFORMED : Reason.INCOMPLETE;
+        pool.discardedResponses().record(connection, reason, response);
+    }
+
     /** The status of an incomplete response counts only if it can't be that of another request. */
     private HttpResult unansweredResult(Status failure) {
         boolean certain = connection == null || isCertain();
--- a/src/main/java/elderseam/http/LocalFailures.java
+++ b/src/main/java/elderseam/http/LocalFailures.java
@@ -28,12 +28,11 @@
             "Cannot allocate memory",
             "Resource temporarily unavailable");
 
-    private final Clock clock;
+    private final LogThrottle throttle;
     private long count;
-    private long nextLogNs = Long.MIN_VALUE;
 
     LocalFailures(Clock clock) {
-        this.clock = clock;
+        throttle = new LogThrottle(clock, LOG_INTERVAL_NS);
     }
 
     /** Whether a connect failed because a resource of this machine was exhausted, see socket(2) and connect(2). */
@@ -48,9 +47,7 @@
     /** Counts and logs a connect failure that this machine caused. */
     void record(IOException failure) {
         count++;
-        long now = clock.now();
-        if (now >= nextLogNs) {
-            nextLogNs = now + LOG_INTERVAL_NS;
+        if (throttle.tryLog()) {
             LOG.warn("http.connect_failed_locally", field("count", count), error(failure));
         }
     }
--- a/src/main/java/elderseam/http/UnexpectedInput.java
+++ b/src/main/java/elderseam/http/UnexpectedInput.java
@@ -3,6 +3,7 @@
 import static elderseam.logging.LogField.field;
 
 import elderseam.core.Clock;
+import elderseam.core.ResponseAnomalyListener;
 import elderseam.logging.EventLogger;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -23,29 +24,26 @@
     private static final long LOG_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
     private static final int MAX_LOGGED_BYTES = 40;
 
-    private final Clock clock;
-    private Runnable listener = () -> {};
+    private final LogThrottle throttle;
+    private ResponseAnomalyListener listener = ResponseAnomalyListener.NONE;
     private long count;
-    private long nextLogNs = Long.MIN_VALUE;
 
     UnexpectedInput(Clock clock) {
-        this.clock = clock;
+        throttle = new LogThrottle(clock, LOG_INTERVAL_NS);
     }
 
     /** Sets the listener that is called for each case. There is one listener; a second call replaces it. */
-    void onRecorded(Runnable newListener) {
+    void setListener(ResponseAnomalyListener newListener) {
         listener = newListener;
     }
 
     /** Counts and logs bytes that came on a connection to an endpoint. The position of the buffer does not change. */
     void record(EndpointConnection connection, Place place, ByteBuffer bytes) {
         count++;
-        listener.run();
-        long now = clock.now();
-        if (now < nextLogNs) {
+        listener.unexpectedInputReceived();
+        if (!throttle.tryLog()) {
             return;
         }
-        nextLogNs = now + LOG_INTERVAL_NS;
         LOG.warn(
                 "http.unexpected_input",
                 field("count", count),
--- a/src/test/java/elderseam/scenario/CopiedAnswerTest.java
+++ b/src/test/java/elderseam/scenario/CopiedAnswerTest.java
@@ -47,6 +47,20 @@
                 """.replace("{to}", TO));
     }
 
+    // Guards against issue 56: an answer that is not believed leaves no trace of what it held.
+    @Test
+    void aDiscardedAnswerIsLoggedWithWhatItHeld() throws Exception {
+        play(folder, """
+                c send POST /status-update; {to} X-Txn: say
+                c expect 202
+                h1 expect say
+                h1 raw HTTP/1.1 429 x\\r\\nX-RateLimit-Wait-Ms: 900\\r\\nContent-Length: 10\\r\\n\\r\\nabc
+                h1 end
+                relay expect http.response_discarded count=1 endpoint=h1 connection= ... reason=MALFORMED code=429 ... Wait-Ms: 900
+                operator ask INFO -> discarded_responses=1
+                """.replace("{to}", TO));
+    }
+
     /** A connection has carried one message, and the copy of that answer meets the next one. */
     private void playsCopyAcross(String path, String pauseMs, String end) throws Exception {
         play(folder, """
