--- a/src/main/java/elderseam/testkit/ordering/HttpConnection.java
+++ b/src/main/java/elderseam/testkit/ordering/HttpConnection.java
@@ -103,6 +103,23 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Writes both in one write. */
+    void write(byte[] bytes, String text) throws IOException {
+        writeJoined(bytes, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Writes both in one write. */
+    void write(String text, byte[] bytes) throws IOException {
+        writeJoined(text.getBytes(StandardCharsets.UTF_8), bytes);
+    }
+
+    private void writeJoined(byte[] first, byte[] second) throws IOException {
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        joined.writeBytes(first);
+        joined.writeBytes(second);
+        socket.getOutputStream().write(joined.toByteArray());
+    }
+
     /** The bytes of an answer. {@code headers}: each with its line end. */
     static String answer(int status, String headers, String body) {
         return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: "
--- a/src/main/java/elderseam/testkit/ordering/OrderHistory.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderHistory.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * All that clients, endpoints and the platform saw of the messages of one run. Times are nanoseconds of
@@ -16,17 +17,22 @@
     /** One call of a message at an endpoint. */
     static final class Call {
         final String messageId;
+        final int destination;
         final long start;
         long end = NEVER;
         /** What ended it; null while it is open. */
         CallEnd how;
 
-        Call(String messageId, long start) {
+        Call(String messageId, int destination, long start) {
             this.messageId = messageId;
+            this.destination = destination;
             this.start = start;
         }
     }
 
+    /** A wait that a destination asked for. */
+    record Wait(int destination, AnswerFault fault, long start, long end) {}
+
     /** How a call ended. */
     enum CallEnd {
         /** The endpoint answered 200. */
@@ -87,6 +93,8 @@
 
     private final Map<String, Message> byId = new HashMap<>();
     private final Map<String, List<Message>> byKey = new HashMap<>();
+    private final List<Call> calls = new ArrayList<>();
+    private final List<Wait> waits = new ArrayList<>();
     private final List<String> anomalies = new ArrayList<>();
 
     /** A client is about to hand in a message; those of one key come in their order. */
@@ -101,9 +109,10 @@
         byId.get(id).accepted = true;
     }
 
-    /** The last byte of a call has come to an endpoint. */
-    synchronized Call callBegan(String id) {
-        Call call = new Call(id, System.nanoTime());
+    /** The last byte of a call has come to an endpoint of a destination. */
+    synchronized Call callBegan(String id, int destination) {
+        Call call = new Call(id, destination, System.nanoTime());
+        calls.add(call);
         Message message = byId.get(id);
         if (message == null) {
             anomalies.add("a call with an id that no client used: " + id);
@@ -119,6 +128,22 @@
         call.how = how;
     }
 
+    /** An endpoint has written that its destination asks for a wait from now on. */
+    synchronized void waitBegan(int destination, int waitMs, AnswerFault fault) {
+        long now = System.nanoTime();
+        waits.add(new Wait(destination, fault, now, now + TimeUnit.MILLISECONDS.toNanos(waitMs)));
+    }
+
+    /** All calls, in the order of their beginning; read once nothing is added any more. */
+    synchronized List<Call> calls() {
+        return List.copyOf(calls);
+    }
+
+    /** All waits, in the order of their beginning; read once nothing is added any more. */
+    synchronized List<Wait> waits() {
+        return List.copyOf(waits);
+    }
+
     /** A notification of the message has come to the platform. */
     synchronized void notificationCame(String id) {
         Message message = byId.get(id);
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -56,7 +56,9 @@
                 random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3,
                 random.nextInt(1, 300),
                 random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2,
-                copyFault(random));
+                copyFault(random),
+                1,
+                RejectionFault.NONE);
         int unorderedClients = random.nextInt(MAX_UNORDERED_CLIENTS + 1);
         OrderTrial.Load load = new OrderTrial.Load(
                 keys, unorderedClients, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -88,12 +88,14 @@
     /**
      * How the others behave.
      *
-     * @param endpoints of the one destination
+     * @param endpoints of all destinations, which take turns in the list
      * @param minDelayMs of an endpoint's answer
      * @param badAnswerRatio calls that hang, break or fail
      * @param notificationDelayMs the longest time to the answer to a notification
      * @param refusedNotificationRatio calls with notifications that get 503
      * @param copies answers that come twice
+     * @param destinations which clients call in turn; where there are several, the endpoints of each share a breaker
+     * @param rejections with a wait
      */
     public record Surroundings(
             int endpoints,
@@ -102,19 +104,28 @@
             double badAnswerRatio,
             int notificationDelayMs,
             double refusedNotificationRatio,
-            CopyFault copies) {}
+            CopyFault copies,
+            int destinations,
+            RejectionFault rejections) {}
 
     /**
      * What a run came to.
      *
      * @param evidence what the log tells of the messages that broke a rule, and of stalls; empty if none did
+     * @param waits that endpoints asked for
      */
     public record Result(
-            List<String> violations, List<String> evidence, int handedIn, int accepted, int delivered, int notified) {
+            List<String> violations,
+            List<String> evidence,
+            int handedIn,
+            int accepted,
+            int delivered,
+            int notified,
+            List<OrderHistory.Wait> waits) {
         @Override
         public String toString() {
             return "handed_in=" + handedIn + " accepted=" + accepted + " delivered=" + delivered + " notified="
-                    + notified + " violations=" + violations.size();
+                    + notified + " waits=" + waits.size() + " violations=" + violations.size();
         }
     }
 
@@ -155,7 +166,7 @@
         settingsFile = folder.resolve("elderseam.ini");
         Files.writeString(settingsFile, "");
         Path configuration = folder.resolve("config.json");
-        Files.writeString(configuration, configuration(platform.address(), list));
+        Files.writeString(configuration, configuration(platform.address(), list, surroundings.destinations() > 1));
         clock = SteppedClock.build(folder);
         variables = new HashMap<>(Map.of(
                 "RELAY_NAME",
@@ -184,28 +195,25 @@
             throws IOException {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < surroundings.endpoints(); i++) {
-            RecordingEndpoint endpoint = new RecordingEndpoint(
-                    address,
-                    history,
-                    random.split(),
-                    surroundings.minDelayMs(),
-                    surroundings.maxDelayMs(),
-                    surroundings.badAnswerRatio(),
-                    copies);
+            int destination = 1 + i % surroundings.destinations();
+            RecordingEndpoint endpoint =
+                    new RecordingEndpoint(address, destination, history, random.split(), surroundings, copies);
             open.add(endpoint);
-            entries.add(listEntry("s" + i, endpoint.address()));
+            entries.add(listEntry("s" + i, destination, endpoint.address()));
         }
         return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
     }
 
-    private static String listEntry(String id, String address) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + address
-                + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":1,\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}";
+    private static String listEntry(String id, int destination, String address) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"z\",\"kind\":\"k\",\"cell\":"
+                + destination + ",\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}";
     }
 
-    private static String configuration(String platformAddress, String list) throws IOException {
+    private static String configuration(String platformAddress, String list, boolean sharedBreakers)
+            throws IOException {
         String settings = new String(
-                OrderTrial.class.getResourceAsStream("settings.json").readAllBytes(), StandardCharsets.UTF_8);
+                        OrderTrial.class.getResourceAsStream("settings.json").readAllBytes(), StandardCharsets.UTF_8)
+                .replace("\"kindApart\":[true]", "\"kindApart\":[" + !sharedBreakers + "]");
         return "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + platformAddress
                 + "\",\"limits\":{\"sockets\":256,\"memory_mb\":64,\"disk_mb\":3},\"known\":" + list + ",\"settings\":"
                 + settings + "}";
@@ -222,7 +230,7 @@
         try (OrderTrial trial = new OrderTrial(folder, seed, surroundings)) {
             trial.process = trial.startProcess();
             ServedProcess.awaitReady(trial.dispatcherAddress);
-            trial.startClients(load);
+            trial.startClients(load, surroundings.destinations());
             for (Action action : actions) {
                 Thread.sleep(trial.random.nextInt(1, MAX_GAP_MS));
                 trial.carryOut(action);
@@ -239,17 +247,20 @@
         return ServedProcess.start(log, settingsFile, variables);
     }
 
-    private void startClients(Load load) {
+    private void startClients(Load load, int destinations) {
         for (int i = 0; i < load.keys(); i++) {
-            startClient("k" + i, i % 2 == 0 ? TrialClass.ORDERED_ONCE : TrialClass.ORDERED_REPEATABLE, load);
+            TrialClass messageClass = i % 2 == 0 ? TrialClass.ORDERED_ONCE : TrialClass.ORDERED_REPEATABLE;
+            startClient("k" + i, messageClass, 1 + i % destinations, load);
         }
         for (int i = 0; i < load.unorderedClients(); i++) {
-            startClient("u" + i, i % 2 == 0 ? TrialClass.ONCE : TrialClass.REPEATABLE, load);
+            TrialClass messageClass = i % 2 == 0 ? TrialClass.ONCE : TrialClass.REPEATABLE;
+            startClient("u" + i, messageClass, 1 + i / 2 % destinations, load);
         }
     }
 
-    private void startClient(String name, TrialClass messageClass, Load load) {
-        TrialClient client = new TrialClient(name, messageClass, dispatcherAddress, history, random.split(), load);
+    private void startClient(String name, TrialClass messageClass, int destination, Load load) {
+        TrialClient client =
+                new TrialClient(name, messageClass, destination, dispatcherAddress, history, random.split(), load);
         clients.add(client);
         Thread thread = new Thread(client, "trial-client");
         thread.setDaemon(true);
@@ -351,6 +362,7 @@
                     }
                 }));
         List<String> violations = checker.check(history);
+        violations.addAll(new WaitChecker(restarts, start).check(history));
         List<String> evidence = violations.isEmpty() ? List.of() : log.linesAbout(checker.offendingMessages());
         return new Result(
                 violations,
@@ -358,7 +370,8 @@
                 counts.getOrDefault("handed in", 0),
                 counts.getOrDefault("accepted", 0),
                 counts.getOrDefault("delivered", 0),
-                counts.getOrDefault("notified", 0));
+                counts.getOrDefault("notified", 0),
+                history.waits());
     }
 
     @Override
--- a/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -4,6 +4,7 @@
 import elderseam.testkit.ordering.OrderHistory.CallEnd;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 /** An endpoint that records its calls and answers them well or badly, as a seed says. */
@@ -26,27 +27,30 @@
     private final int maxDelayMs;
     private final double faultRatio;
     private final CopiedAnswers copies;
+    private final int destination;
+    private final SpoiltRejections rejections;
     private final LoopbackServer server;
 
     /**
+     * @param destination that it serves
      * @param random used by many threads in an order of their own, under this object's lock
-     * @param faultRatio how many of the calls are answered badly, 0 to 1
      */
     RecordingEndpoint(
             InetAddress address,
+            int destination,
             OrderHistory history,
             SplittableRandom random,
-            int minDelayMs,
-            int maxDelayMs,
-            double faultRatio,
+            OrderTrial.Surroundings surroundings,
             CopiedAnswers copies)
             throws IOException {
+        this.destination = destination;
         this.history = history;
         this.random = random;
-        this.minDelayMs = minDelayMs;
-        this.maxDelayMs = maxDelayMs;
-        this.faultRatio = faultRatio;
+        this.minDelayMs = surroundings.minDelayMs();
+        this.maxDelayMs = surroundings.maxDelayMs();
+        this.faultRatio = surroundings.badAnswerRatio();
         this.copies = copies;
+        this.rejections = new SpoiltRejections(surroundings.rejections(), random.split());
         this.server = new LoopbackServer(address, this::serve);
     }
 
@@ -55,16 +59,20 @@
     }
 
     private void serve(HttpConnection connection) throws IOException {
+        boolean used = false;
         for (HttpConnection.Message request = connection.read(0); request != null; request = connection.read(0)) {
-            if (!answer(connection, request.header("X-Txn"))) {
+            Optional<SpoiltRejections.Rejection> rejection = rejections.next(used);
+            Call call = history.callBegan(request.header("X-Txn"), destination);
+            boolean open = rejection.isPresent() ? reject(connection, call, rejection.get()) : answer(connection, call);
+            if (!open) {
                 return;
             }
+            used = true;
         }
     }
 
     /** Answers one call; false where that ended the connection. */
-    private boolean answer(HttpConnection connection, String id) throws IOException {
-        Call call = history.callBegan(id);
+    private boolean answer(HttpConnection connection, Call call) throws IOException {
         Answer answer = nextAnswer();
         long delayMs = answer == Answer.HANG ? HANG_LIMIT_MS : nextDelayMs(answer);
         if (connection.endsWithin(delayMs)) {
@@ -84,6 +92,26 @@
         return true;
     }
 
+    /** Rejects one call with a wait; false where that ended the connection. */
+    private boolean reject(HttpConnection connection, Call call, SpoiltRejections.Rejection rejection)
+            throws IOException {
+        SpoiltRejections.writeAhead(connection, rejection);
+        if (connection.endsWithin(nextDelayMs(Answer.DELIVER))) {
+            history.callEnded(call, CallEnd.BROKEN);
+            return false;
+        }
+        boolean succeeds = rejection.fault() == AnswerFault.SUCCESS_THEN_REJECTION;
+        if (rejection.fault() != AnswerFault.AFTER_GIVE_UP) {
+            history.callEnded(call, succeeds ? CallEnd.DELIVERED : CallEnd.REFUSED);
+        }
+        boolean open = rejections.write(
+                connection, rejection, (waitMs, fault) -> history.waitBegan(destination, waitMs, fault));
+        if (call.how == null) {
+            history.callEnded(call, CallEnd.BROKEN);
+        }
+        return open;
+    }
+
     private void end(HttpConnection connection, Call call, CallEnd how, int status, String headers) throws IOException {
         history.callEnded(call, how);
         connection.answer(HttpConnection.answer(status, headers, ""), copies);
--- a/src/main/java/elderseam/testkit/ordering/RestartWindows.java
+++ b/src/main/java/elderseam/testkit/ordering/RestartWindows.java
@@ -17,6 +17,15 @@
         windows.add(new Window(start, end));
     }
 
+    /** The start of the first window that begins between these times; the later one if there is none. */
+    long firstStartWithin(long from, long to) {
+        return windows.stream()
+                .mapToLong(Window::start)
+                .filter(start -> from <= start && start < to)
+                .min()
+                .orElse(to);
+    }
+
     /** When something is overdue that would be at that time if no window held it up. */
     long overdueAt(long time) {
         long overdue = time;
--- a/src/main/java/elderseam/testkit/ordering/TrialClient.java
+++ b/src/main/java/elderseam/testkit/ordering/TrialClient.java
@@ -18,6 +18,7 @@
 
     private final String name;
     private final TrialClass messageClass;
+    private final int destination;
     private final InetSocketAddress dispatcher;
     private final OrderHistory history;
     private final SplittableRandom random;
@@ -30,12 +31,14 @@
     TrialClient(
             String name,
             TrialClass messageClass,
+            int destination,
             InetSocketAddress dispatcher,
             OrderHistory history,
             SplittableRandom random,
             OrderTrial.Load load) {
         this.name = name;
         this.messageClass = messageClass;
+        this.destination = destination;
         this.dispatcher = dispatcher;
         this.history = history;
         this.random = random;
@@ -115,7 +118,8 @@
 
     private String request(String id, long remainingMs) {
         return "POST " + messageClass.path() + "?thread=" + keyOf(id) + " HTTP/1.1\r\nHost: t\r\nX-Txn: " + id
-                + "\r\nX-Remaining: " + remainingMs + "m\r\nX-Addressing: dest=1\r\nContent-Length: " + BODY.length()
+                + "\r\nX-Remaining: " + remainingMs + "m\r\nX-Addressing: dest=" + destination + "\r\nContent-Length: "
+                + BODY.length()
                 + "\r\n\r\n" + BODY;
     }
 
--- a/src/test/java/elderseam/testkit/ordering/CopiedAnswersTest.java
+++ b/src/test/java/elderseam/testkit/ordering/CopiedAnswersTest.java
@@ -21,7 +21,7 @@
     Path folder;
 
     private static OrderTrial.Surroundings surroundings(OrderTrial.CopyFault copies) {
-        return new OrderTrial.Surroundings(3, 20, 140, 0.08, 50, 0.3, copies);
+        return new OrderTrial.Surroundings(3, 20, 140, 0.08, 50, 0.3, copies, 1, RejectionFault.NONE);
     }
 
     private void noRuleIsBroken(long seed, OrderTrial.Surroundings surroundings) throws Exception {
--- a/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
+++ b/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
@@ -20,10 +20,10 @@
 class OrderTrialTest {
     private static final OrderTrial.Load SIX_MESSAGES_OF_FOUR_KEYS = new OrderTrial.Load(4, 0, 6, 5, 8_000, 8_000);
     private static final OrderTrial.Surroundings ONE_STEADY_ENDPOINT =
-            new OrderTrial.Surroundings(1, 150, 150, 0, 1, 0, OrderTrial.CopyFault.NONE);
+            new OrderTrial.Surroundings(1, 150, 150, 0, 1, 0, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE);
 
     private static final OrderTrial.Surroundings ONE_SLOW_ENDPOINT =
-            new OrderTrial.Surroundings(1, 500, 500, 0, 1, 0, OrderTrial.CopyFault.NONE);
+            new OrderTrial.Surroundings(1, 500, 500, 0, 1, 0, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE);
 
     @TempDir
     Path folder;
@@ -54,7 +54,8 @@
         keepsOrder(
                 3,
                 new OrderTrial.Load(8, 0, 100_000, 60, 1_000, 4_000),
-                new OrderTrial.Surroundings(2, 5, 120, 0.2, 200, 0.2, OrderTrial.CopyFault.NONE),
+                new OrderTrial.Surroundings(
+                        2, 5, 120, 0.2, 200, 0.2, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE),
                 List.of(KILL, STEP_CLOCK_AHEAD, KILL, HAND_OVER, PAUSE, TERMINATE, STEP_CLOCK_BACK, HAND_OVER));
     }
 
