Calls to endpoints: a wait binds as soon as it is read, whatever becomes of its answer

Cause: doubt was applied to all that an answer says alike. EndpointExchange.receiveComplete and unansweredResult dropped the headers of an answer that may belong to another request or is incomplete, classify dropped those of an incomplete one, and bytes that no request asked for were only counted. The rule of (not believed) is right for what an answer grants and wrong for what it asks.

Mend: every head that is read on a connection goes to its ResponseHeadListener, apart from the outcome of any attempt: complete, partial or broken off, of an answer, a late answer, or of bytes that no request asked for. What the strict parser rejects is read on leniently, for heads alone. RetryAfterRules decides: a wait that was read binds (600 s at most, as before); a 429 whose head is still arriving binds for 1 s, one that can't be read for 5 s. A wait only prolongs. It works because a wait names its destination by its connection, not by its request; what an answer grants is believed by the same rules as before.

Paths that discard something, what that held, who relied on it: - an exchange that ends as ERROR (contradicted, before its request was written): status and wait; the policy's breaker and rate control - an incomplete or malformed answer, also of a batched call: the same; now its head, read leniently where it is malformed - bytes on an idle connection, before a request, behind an answer: a copied or late 429; nobody; now read for heads - a used connection after a give-up was closed: a late 429; now half-closed for 1 s as a new one is; so is a connection that ends in doubt, or while its endpoint is distrusted. Not: a new connection closed after its whole answer while nothing is in doubt (holds nothing that was asked) - a handover: what the older process reads after it; now forwarded as a late outcome without a request (same frame) - answers of discovery, the platform and the proxy's successor have no wait; their heads still go nowhere - interim responses: skipped with their headers; the protocol has no wait there

--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -70,7 +70,9 @@
         this.certificateOrder = certificateOrder;
         this.frontend = new EventFrontend(io.clock, dispatcher, config.settings(), events, rules);
         dispatcher.registerFrontend(
-                EventFrontend.NUMBER, frontend, new EventAttemptSender(endpointConnections, endpoints::addressOf));
+                EventFrontend.NUMBER,
+                frontend,
+                new EventAttemptSender(endpointConnections, endpoints::addressOf, dispatcher.endpointResponses()));
     }
 
     /** How many of the process's client connections this frontend takes at the most. */
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -161,10 +161,7 @@
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
         frontend = new PlatformFrontend(
                 io, platform, discoveryAddress, dispatcher, config.settings(), liveConfiguration.rules(), lifecycle);
-        dispatcher.registerFrontend(
-                PlatformFrontend.NUMBER,
-                frontend,
-                new PlatformAttemptSender(io, endpointConnections, endpoints, config.settings()));
+        dispatcher.registerFrontend(PlatformFrontend.NUMBER, frontend, attemptSender(endpoints));
         discovery = new DiscoveryWatcher(io, platform, discoveryAddress, endpoints, dispatcher);
         dispatcher.onWatchRequested(discovery::watch);
         LeasedCertificateOrder certificateOrder =
@@ -182,11 +179,16 @@
         transfer = new OwnershipTransfer(io, startup.ownership().lock(), transferable);
     }
 
+    private PlatformAttemptSender attemptSender(EndpointList endpoints) {
+        return new PlatformAttemptSender(
+                io, endpointConnections, endpoints, config.settings(), dispatcher.endpointResponses());
+    }
+
     /** Lets the dispatcher know of stalls, and of responses that are not as they should be. */
     private void reportToDispatcher(EndpointConnectionPool platform) {
         io.onStall(dispatcher::eventLoopStalled);
-        endpointConnections.setAnomalyListener(dispatcher.responseAnomalies());
-        platform.setAnomalyListener(dispatcher.responseAnomalies());
+        endpointConnections.setAnomalyListener(dispatcher.endpointResponses());
+        platform.setAnomalyListener(dispatcher.endpointResponses());
     }
 
     /**
--- a/src/main/java/elderseam/app/StandbyWarmup.java
+++ b/src/main/java/elderseam/app/StandbyWarmup.java
@@ -7,6 +7,7 @@
 import elderseam.core.Journal;
 import elderseam.core.Lifecycle;
 import elderseam.core.RequestDispatcher;
+import elderseam.core.RetryAfterListener;
 import elderseam.frontend.platform.EndpointList;
 import elderseam.frontend.platform.PlatformAttemptSender;
 import elderseam.frontend.platform.PlatformConfiguration;
@@ -62,7 +63,7 @@
         dispatcher.registerFrontend(
                 PlatformFrontend.NUMBER,
                 frontend,
-                new PlatformAttemptSender(io, connections, endpoints, config.settings()));
+                new PlatformAttemptSender(io, connections, endpoints, config.settings(), RetryAfterListener.NONE));
         dispatcher.updateEndpoints(
                 ListUpdateKind.CACHED,
                 endpoints.update(config.cachedEndpointList().get("servers"), true));
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -30,6 +30,11 @@
     /** The state that the successor needs besides the journal: the policy's state and the attempts in flight. */
     public record State(byte[] policySnapshot, List<InFlightAttempt> inFlight) {}
 
+    /** The request id and attempt of a forwarded wait that belongs to no attempt. */
+    private static final String NO_REQUEST = "";
+
+    private static final int NO_ATTEMPT = -1;
+
     private final RequestDispatcher dispatcher;
     private final AttemptTracker attempts;
     private final PolicyFacade policy;
@@ -95,6 +100,16 @@
         return true;
     }
 
+    /** Forwards a wait that an endpoint asked for, like a late outcome; false if there is no successor. */
+    boolean forwardRetryAfter(String endpoint, long waitNs) {
+        if (successor == null) {
+            return false;
+        }
+        AttemptOutcome outcome = new AttemptOutcome(Progress.ANSWERED, Status.OVERLOADED, waitNs, 0, 0);
+        successor.accept(new ForwardedOutcome(NO_REQUEST, NO_ATTEMPT, endpoint, true, outcome));
+        return true;
+    }
+
     /**
      * Rolls the transfer back because the successor failed before it took over.
      *
@@ -109,6 +124,9 @@
                 policy.answeredLate(clock.now(), ended.endpoint(), ended.outcome());
             } else if (isLastAttempt(request, ended)) {
                 request.lastAttempt.ended(ended.outcome());
+            } else {
+                policy.retryAfterReceived(
+                        clock.now(), ended.endpoint(), ended.outcome().retryAfterNs());
             }
         }
         dispatcher.resume();
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** The counters that are reported to operators. They start at 0 with the process. Confined to the event-loop thread. */
-final class Metrics implements ResponseAnomalyListener {
+final class Metrics {
     private static final String PREFIX = "edge_relay.";
 
     /** The counters of one message class. */
@@ -22,6 +22,8 @@
     private long localFailures;
     private long unexpectedInputs;
     private long discardedResponses;
+    private long retryAfters;
+    private long presumedRetryAfters;
     private long refutedDeliveries;
 
     /** Creates the counters of {@code classes} message classes. */
@@ -57,16 +59,22 @@
         localFailures++;
     }
 
-    @Override
-    public void unexpectedInputReceived() {
+    /** Counts bytes from an endpoint or the platform that answer no request. */
+    void unexpectedInputReceived() {
         unexpectedInputs++;
     }
 
-    @Override
-    public void responseDiscarded() {
+    /** Counts a response from an endpoint or the platform that was read and not believed. */
+    void responseDiscarded() {
         discardedResponses++;
     }
 
+    /** Counts a wait that an endpoint asked for, or is presumed to have asked for. */
+    void retryAfterReceived(boolean presumed) {
+        retryAfters++;
+        presumedRetryAfters += presumed ? 1 : 0;
+    }
+
     /** Counts a request whose delivery was refuted by a further response; its delivery stays counted. */
     void deliveryRefuted() {
         refutedDeliveries++;
@@ -97,6 +105,12 @@
         if (discardedResponses > 0) {
             lines.add(PREFIX + "discarded_responses=" + discardedResponses);
         }
+        if (retryAfters > 0) {
+            lines.add(PREFIX + "retry_afters=" + retryAfters);
+        }
+        if (presumedRetryAfters > 0) {
+            lines.add(PREFIX + "retry_afters_presumed=" + presumedRetryAfters);
+        }
         if (refutedDeliveries > 0) {
             lines.add(PREFIX + "refuted_deliveries=" + refutedDeliveries);
         }
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -192,6 +192,12 @@
         policy.lateAnswer(now, endpoint, outcome.retryAfterNs(), reportOf(outcome));
     }
 
+    /** An endpoint has asked for a wait, in a response that need not be the answer to an attempt. */
+    void retryAfterReceived(long time, String endpoint, long waitNs) {
+        advanceForEvent(time);
+        policy.retryAfter(now, endpoint, waitNs);
+    }
+
     /** A late response has completed the request: no further attempt may be sent for it. */
     void withdraw(long time, String requestId) {
         advanceForEvent(time);
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -42,6 +42,7 @@
     private final MessageOrder order;
     private final AttemptTracker attempts;
     private final Handover handover;
+    private final EndpointResponses endpointResponses;
     private final PolicySnapshots snapshots;
     private final DecisionExecutor executor;
     private final DecisionLoop decisions;
@@ -76,6 +77,7 @@
         this.duplicates = new DuplicateRequests(journal, clock, loop, frontends, metrics, log, order);
         this.attempts = new AttemptTracker(this, settings, policy, journal, clock, loop, metrics, log);
         this.handover = new Handover(this, attempts, policy, journal, clock, loop);
+        this.endpointResponses = new EndpointResponses(handover, policy, clock, metrics);
         this.snapshots = new PolicySnapshots(handover, policy, journal, clock, loop);
         this.executor = new DecisionExecutor(this, attempts);
         this.decisions = new DecisionLoop(executor, policy, clock, loop);
@@ -201,9 +203,9 @@
         decisions.run();
     }
 
-    /** The counters of responses that are not as they should be. */
-    public ResponseAnomalyListener responseAnomalies() {
-        return metrics;
+    /** Learns what responses tell besides the outcomes of attempts. */
+    public EndpointResponses endpointResponses() {
+        return endpointResponses;
     }
 
     /** As {@link #submit(ActiveRequest.Message, List)}, without alternate deduplication keys. */
--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -6,30 +6,34 @@
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.AttemptSender;
-import elderseam.core.Clock;
 import elderseam.core.ConnectionReuse;
 import elderseam.core.EndpointCall;
+import elderseam.core.RetryAfterListener;
 import elderseam.http.AttemptExchange;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import java.util.function.Function;
-import java.util.regex.Pattern;
 
 /**
  * Delivers events to endpoints in binary mode, each on a new connection: the client gets the outcome at once, so that it can't
  * be corrected. Confined to the I/O thread.
  */
 public final class EventAttemptSender implements AttemptSender {
-    private static final Pattern RETRY_AFTER_SECONDS = Pattern.compile("\\d{1,6}(\\.\\d{1,9})?");
-    private static final double MS_PER_SECOND = 1_000;
-
     private final EndpointConnectionPool connections;
     private final Function<String, EndpointAddress> addressOf;
+    private final EventRetryAfter retryAfter;
 
-    /** {@code addressOf}: the address of an endpoint, by its id. */
-    public EventAttemptSender(EndpointConnectionPool connections, Function<String, EndpointAddress> addressOf) {
+    /**
+     * @param addressOf the address of an endpoint, by its id
+     * @param retryAfter receives the waits that endpoints ask for
+     */
+    public EventAttemptSender(
+            EndpointConnectionPool connections,
+            Function<String, EndpointAddress> addressOf,
+            RetryAfterListener retryAfter) {
+        this.retryAfter = new EventRetryAfter(retryAfter);
         this.connections = connections;
         this.addressOf = addressOf;
     }
@@ -43,7 +47,7 @@
                 new HttpRequest("POST", "/events", event.headers(), event.payload()),
                 connectBy,
                 answerBy,
-                new AttemptExchange(listener, ConnectionReuse.NEW, EventAttemptSender::classify))::cancel;
+                new AttemptExchange(listener, ConnectionReuse.NEW, retryAfter, EventAttemptSender::classify))::cancel;
     }
 
     @Override
@@ -63,18 +67,10 @@
         if (!result.answered()) {
             return AttemptOutcome.unanswered(result.progress(), result.failure());
         }
-        if (result.code() == 429 || result.code() == 503) {
-            long retryAfterNs = retryAfterNs(result.header("Retry-After"));
+        if (EventRetryAfter.isRejection(result.code())) {
+            long retryAfterNs = EventRetryAfter.nanoseconds(result.header(EventRetryAfter.HEADER));
             return new AttemptOutcome(result.progress(), Status.OVERLOADED, retryAfterNs, 0, 0);
         }
         return new AttemptOutcome(result.progress(), Status.ERROR, 0, 0, 0);
     }
-
-    /** The nanoseconds of a Retry-After in seconds; 0 where it is absent or anything else, such as a date. */
-    private static long retryAfterNs(String retryAfter) {
-        if (!RETRY_AFTER_SECONDS.matcher(retryAfter).matches()) {
-            return 0;
-        }
-        return (long) (Double.parseDouble(retryAfter) * MS_PER_SECOND * Clock.MILLISECOND_NS);
-    }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -10,6 +10,7 @@
 import elderseam.core.Clock;
 import elderseam.core.ConnectionReuse;
 import elderseam.core.EndpointCall;
+import elderseam.core.RetryAfterListener;
 import elderseam.core.SettingsMap;
 import elderseam.http.AttemptExchange;
 import elderseam.http.EndpointConnectionPool;
@@ -17,6 +18,7 @@
 import elderseam.http.HttpRequest;
 import elderseam.http.HttpResult;
 import elderseam.http.IoLoop;
+import elderseam.http.ResponseHeadListener;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -26,9 +28,6 @@
 
 /** Sends attempts to the platform's endpoints and classifies their responses. Confined to the I/O thread. */
 public final class PlatformAttemptSender implements AttemptSender {
-    /** The maximum Retry-After; a longer one is reduced to this value. */
-    private static final double MAX_RETRY_AFTER_MS = 600_000;
-
     /** A load report with a higher limit, in requests a second, is ignored. */
     private static final double MAX_REPORTED_LIMIT_PER_S = 1e6;
 
@@ -53,17 +52,24 @@
     private final EndpointConnectionPool connections;
     private final EndpointList endpoints;
     private final List<String> loadReportFields;
+    private final PlatformRetryAfter retryAfter;
 
     /**
      * @param endpoints provides the network addresses of endpoints
      * @param settings contains the names of the fields of load reports
+     * @param retryAfter receives the waits that endpoints ask for
      */
     public PlatformAttemptSender(
-            IoLoop io, EndpointConnectionPool connections, EndpointList endpoints, SettingsMap settings) {
+            IoLoop io,
+            EndpointConnectionPool connections,
+            EndpointList endpoints,
+            SettingsMap settings,
+            RetryAfterListener retryAfter) {
         this.io = io;
         this.connections = connections;
         this.endpoints = endpoints;
         this.loadReportFields = settings.list("telemetry.fields");
+        this.retryAfter = new PlatformRetryAfter(retryAfter);
     }
 
     @Override
@@ -126,6 +132,11 @@
                     .orElseThrow();
         }
 
+        @Override
+        public ResponseHeadListener responseHeads() {
+            return retryAfter;
+        }
+
         @Override
         public boolean maySend() {
             return batch.stream().allMatch(entry -> entry.listener().maySend());
@@ -184,8 +195,10 @@
                         connectBy,
                         answerBy,
                         new AttemptExchange(
-                                listener, listener.connectionReuse(), result -> classify(result, loadReportFields)))
-                ::cancel;
+                                listener,
+                                listener.connectionReuse(),
+                                retryAfter,
+                                result -> classify(result, loadReportFields)))::cancel;
     }
 
     @Override
@@ -229,8 +242,8 @@
 
     private static AttemptOutcome outcome(
             HttpResult result, Status status, boolean retryAfterCounts, List<String> loadReportFields) {
-        double retryAfterMs = retryAfterCounts ? parseNumber(result.header("X-RateLimit-Wait-Ms")) : 0;
-        long retryAfterNs = (long) (Math.min(MAX_RETRY_AFTER_MS, retryAfterMs) * Clock.MILLISECOND_NS);
+        long retryAfterNs =
+                retryAfterCounts ? PlatformRetryAfter.nanoseconds(result.header(PlatformRetryAfter.HEADER)) : 0;
         String report = result.header(LOAD_REPORT_HEADER);
         double headroom = loadReportValue(report, loadReportFields, HEADROOM_FIELD_INDEX);
         double limitPerS = loadReportValue(report, loadReportFields, LIMIT_FIELD_INDEX);
--- /dev/null
+++ b/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
@@ -0,0 +1,68 @@
+package elderseam.frontend.platform;
+
+import elderseam.core.Clock;
+import elderseam.core.RetryAfterListener;
+import elderseam.http.EndpointAddress;
+import elderseam.http.ResponseHead;
+import elderseam.http.ResponseHeadListener;
+import elderseam.policy.RetryAfterRules;
+import elderseam.policy.RetryAfterRules.Reading;
+
+/**
+ * Reads the Retry-After of the platform's endpoints, which stands in X-RateLimit-Wait-Ms, from the heads of responses. It
+ * binds whatever the status: besides rejections, the answer to a call with several messages may have it. Confined to the
+ * I/O thread.
+ */
+final class PlatformRetryAfter implements ResponseHeadListener {
+    /** The header, in milliseconds. */
+    static final String HEADER = "X-RateLimit-Wait-Ms";
+
+    private static final int REJECTION_STATUS = 429;
+    private static final String NO_WAIT = "0";
+
+    private final RetryAfterListener listener;
+
+    PlatformRetryAfter(RetryAfterListener listener) {
+        this.listener = listener;
+    }
+
+    @Override
+    public void headReceived(EndpointAddress endpoint, ResponseHead head) {
+        boolean told = head.headers().containsKey(HEADER);
+        if (!told && head.statusCode() != REJECTION_STATUS) {
+            return;
+        }
+        Reading reading = reading(head);
+        long waitNs = RetryAfterRules.waitNs(reading, nanoseconds(head.header(HEADER)));
+        if (waitNs > 0) {
+            listener.retryAfterReceived(endpoint.id(), waitNs, reading != Reading.EXACT);
+        }
+    }
+
+    private static Reading reading(ResponseHead head) {
+        return switch (head.extent()) {
+            case PARTIAL -> Reading.UNFINISHED;
+            case BROKEN_OFF -> Reading.UNREADABLE;
+            case COMPLETE -> {
+                String value = head.headers().getOrDefault(HEADER, NO_WAIT);
+                yield Double.isNaN(parse(value)) ? Reading.UNREADABLE : Reading.EXACT;
+            }
+        };
+    }
+
+    /** Returns the value of the header in nanoseconds; 0 if it is no number or negative. */
+    static long nanoseconds(String value) {
+        double milliseconds = parse(value);
+        return milliseconds > 0 ? (long) Math.min(RetryAfterRules.MAX_NS, milliseconds * Clock.MILLISECOND_NS) : 0;
+    }
+
+    /** Returns the number, or NaN if the text is none. */
+    private static double parse(String text) {
+        try {
+            double number = Double.parseDouble(text);
+            return Double.isInfinite(number) ? Double.NaN : number;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- a/src/main/java/elderseam/http/AttemptExchange.java
+++ b/src/main/java/elderseam/http/AttemptExchange.java
@@ -10,16 +10,22 @@
 public final class AttemptExchange implements ExchangeListener {
     private final AttemptListener attempt;
     private final ConnectionReuse reuse;
+    private final ResponseHeadListener responseHeads;
     private final Function<HttpResult, AttemptOutcome> classifier;
 
     /**
      * @param reuse which connections may carry the attempt
+     * @param responseHeads receives what responses ask for, whether or not they are believed
      * @param classifier the outcome of the attempt, by the result of its exchange
      */
     public AttemptExchange(
-            AttemptListener attempt, ConnectionReuse reuse, Function<HttpResult, AttemptOutcome> classifier) {
+            AttemptListener attempt,
+            ConnectionReuse reuse,
+            ResponseHeadListener responseHeads,
+            Function<HttpResult, AttemptOutcome> classifier) {
         this.attempt = attempt;
         this.reuse = reuse;
+        this.responseHeads = responseHeads;
         this.classifier = classifier;
     }
 
@@ -28,6 +34,11 @@
         return reuse;
     }
 
+    @Override
+    public ResponseHeadListener responseHeads() {
+        return responseHeads;
+    }
+
     @Override
     public boolean maySend() {
         return attempt.maySend();
--- a/src/main/java/elderseam/http/DiscardedResponses.java
+++ b/src/main/java/elderseam/http/DiscardedResponses.java
@@ -41,8 +41,11 @@
         listener = newListener;
     }
 
-    /** Counts and logs a response that came on a connection to an endpoint. */
-    void record(EndpointConnection connection, Reason reason, HttpResponseReader response) {
+    /** Counts and logs a response on a connection to an endpoint, if its status was read. */
+    void record(EndpointConnection connection, HttpResponseReader response) {
+        if (response.statusCode() == 0) {
+            return;
+        }
         count++;
         listener.responseDiscarded();
         if (throttle.tryLog()) {
@@ -52,12 +55,19 @@
                     field("endpoint", connection.endpoint.id()),
                     field("connection", connection.number),
                     field("exchanges", connection.answeredExchanges()),
-                    field("reason", reason),
+                    field("reason", reasonFor(response)),
                     field("code", response.statusCode()),
                     field("headers", shortened(response.headers())));
         }
     }
 
+    private static Reason reasonFor(HttpResponseReader response) {
+        if (response.isComplete()) {
+            return Reason.UNCERTAIN;
+        }
+        return response.isMalformed() ? Reason.MALFORMED : Reason.INCOMPLETE;
+    }
+
     private static String shortened(Map<String, String> headers) {
         String text = headers.entrySet().stream()
                 .limit(MAX_LOGGED_HEADERS)
--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -12,8 +12,8 @@
 
 /**
  * One open connection of an {@link EndpointConnectionPool}. It carries an exchange, is idle, or is half-closed. It is
- * half-closed after its exchange was cancelled or timed out, while a late response may still arrive. Confined to the
- * I/O thread.
+ * half-closed after its exchange was cancelled or timed out, while a late response may still arrive, and after input that
+ * is not believed, while a further response may arrive that asks for a wait. Confined to the I/O thread.
  */
 final class EndpointConnection {
     /** The byte count that XNIO's channels return at the end of a stream. */
@@ -41,6 +41,10 @@
     private long lastWrittenNs;
     private boolean onlySuccesses = true;
     private boolean closed;
+    private boolean halfClosed;
+    private boolean ended; // the endpoint has closed it
+    private ResponseHeadListener headListener; // of the latest exchange
+    private LenientHeadReader strayHeads; // null until input is not believed
 
     /** Creates a connection that carries the given exchange, and starts to read from the channel. */
     EndpointConnection(
@@ -53,6 +57,7 @@
         this.number = pool.nextConnectionNumber();
         this.channel = channel;
         this.exchange = exchange;
+        this.headListener = exchange.responseHeads();
         channel.getSourceChannel().setReadListener(source -> readAvailable());
         channel.getSourceChannel().resumeReads();
     }
@@ -60,6 +65,7 @@
     /** Sets the exchange that the connection carries. */
     void attach(EndpointExchange next) {
         exchange = next;
+        headListener = next.responseHeads();
     }
 
     /** Removes the exchange that the connection carries. */
@@ -107,10 +113,52 @@
         return channel.getSinkChannel();
     }
 
+    /** The head of a response, or a part of it, has been read. */
+    void reportHead(ResponseHead head) {
+        headListener.headReceived(endpoint, head);
+    }
+
+    /** Reads the rest of a malformed response in the pool's buffer, and what follows it, for the heads of responses. */
+    void readStray(HttpResponseReader malformed) {
+        strayHeads = new LenientHeadReader(this::reportHead);
+        if (!malformed.isHeadComplete()) {
+            malformed.continueLeniently(strayHeads);
+        }
+        strayHeads.read(pool.readBuffer);
+    }
+
+    /** Whether input has arrived that is not believed. */
+    boolean hasStrayInput() {
+        return strayHeads != null;
+    }
+
+    private void readStray() {
+        if (strayHeads == null) {
+            strayHeads = new LenientHeadReader(this::reportHead);
+        }
+        strayHeads.read(pool.readBuffer.duplicate());
+    }
+
+    /**
+     * Ends the use of the connection after input that is not believed, or that may belong to another request: shuts down
+     * the sending side and reads on for a while, since a response that asks for a wait may be on its way.
+     */
+    void closeInDoubt() {
+        boolean pointless = ended || headListener == ResponseHeadListener.NONE;
+        if (closed || pointless || !halfClose(null)) {
+            close();
+        }
+    }
+
     /** Closes the connection at once. A second call does nothing. */
     void close() {
         if (!closed) {
             closed = true;
+            if (strayHeads != null) {
+                strayHeads.end();
+            } else if (cancelledExchange != null) {
+                cancelledExchange.lateResponseEnded();
+            }
             pool.connectionClosed(this);
             IoUtils.safeClose(channel);
         }
@@ -120,6 +168,7 @@
      * Shuts down the sending side and keeps reading, for a late response. The endpoint sees the end of the stream, as
      * with a full close, and can detect that the exchange was cancelled.
      *
+     * @param cancelled the exchange whose late response may arrive; null if input is read for heads alone
      * @return false if the connection is broken
      */
     boolean halfClose(EndpointExchange cancelled) {
@@ -130,14 +179,14 @@
             return false;
         }
         cancelledExchange = cancelled;
+        halfClosed = true;
         pool.addHalfClosed(this);
         return true;
     }
 
-    /** Closes the connection after the late response of a cancelled exchange. */
-    void closeHalfClosed() {
+    /** The late response of the cancelled exchange was read: what follows is read for heads alone. */
+    void lateResponseRead() {
         cancelledExchange = null;
-        close();
     }
 
     /**
@@ -161,6 +210,7 @@
     boolean unexpectedInput(UnexpectedInput.Place place) {
         pool.unexpectedInput().record(this, place, pool.readBuffer);
         pool.reuseRules().unexpectedInput(endpoint);
+        readStray();
         boolean success = startsWithSuccess(pool.readBuffer);
         if (!success) {
             long now = pool.io.clock.now();
@@ -186,7 +236,9 @@
     void readAvailable() {
         for (int count = read(); count != 0 && !closed; count = read()) {
             if (cancelledExchange != null) {
-                cancelledExchange.receiveLate(count, this);
+                cancelledExchange.receiveLate(count);
+            } else if (halfClosed) {
+                receiveHalfClosed(count);
             } else if (exchange == null) {
                 receiveWhileIdle(count);
             } else if (exchange.receive(count)) {
@@ -200,7 +252,15 @@
             unexpectedInput(UnexpectedInput.Place.IDLE);
         }
         pool.removeIdle(this);
-        close();
+        closeInDoubt();
+    }
+
+    private void receiveHalfClosed(int count) {
+        if (count == END_OF_STREAM) {
+            close();
+        } else {
+            readStray();
+        }
     }
 
     /**
@@ -213,8 +273,11 @@
         }
         pool.readBuffer.clear();
         try {
-            return channel.getSourceChannel().read(pool.readBuffer);
+            int count = channel.getSourceChannel().read(pool.readBuffer);
+            ended = count == END_OF_STREAM;
+            return count;
         } catch (IOException e) {
+            ended = true;
             return END_OF_STREAM;
         } finally {
             pool.readBuffer.flip();
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -21,10 +21,9 @@
  * connection that was used before remains unsettled until its request would have timed out: a further response that is
  * no success refutes it.
  *
- * <p>When the first exchange of a connection is cancelled or times out, the connection may be half-closed, so that the
- * endpoint can detect that the response is no longer awaited. The connection is then read for a short time, for a late
- * response, and closed. A connection is closed at once if its response was malformed or was followed by surplus bytes.
- * Confined to the I/O thread.
+ * <p>When an exchange is cancelled or times out, and after input that is not believed, the connection is half-closed, so
+ * that the endpoint can detect that no response is awaited any more. The connection is then read for a short time, for a
+ * late response and for further heads of responses, and closed. Confined to the I/O thread.
  */
 public final class EndpointConnectionPool {
     private static final long SWEEP_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
@@ -131,12 +130,14 @@
     }
 
     private EndpointConnection closeUnlessUsable(EndpointConnection connection) {
+        boolean quiet = connection.hasNoUnexpectedInput(UnexpectedInput.Place.IDLE);
         boolean expired = io.clock.now() - connection.stateSinceNs >= maxIdleNs;
-        if (!expired && connection.hasNoUnexpectedInput(UnexpectedInput.Place.IDLE)) {
-            return connection;
+        if (!quiet) {
+            connection.closeInDoubt();
+        } else if (expired) {
+            connection.close();
         }
-        connection.close();
-        return null;
+        return quiet && !expired ? connection : null;
     }
 
     /** Returns the rules by which idle connections are used again. */
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -5,7 +5,7 @@
 import elderseam.core.AttemptOutcome.Status;
 import elderseam.core.Clock;
 import elderseam.core.ConnectionReuse;
-import elderseam.http.DiscardedResponses.Reason;
+import elderseam.http.ResponseHead.Extent;
 import elderseam.http.UnexpectedInput.Place;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -44,6 +44,7 @@
     private int timerGeneration;
 
     private boolean responseStarted;
+    private boolean lateResultCounts;
     private boolean finished;
 
     EndpointExchange(
@@ -184,6 +185,7 @@
             return true;
         }
         parse(count);
+        reportHead(Extent.PARTIAL);
         if (response.isComplete()) {
             receiveComplete(count);
         } else if (response.isMalformed()) {
@@ -205,7 +207,8 @@
             finish(Status.BROKEN);
             return;
         }
-        connection.close();
+        connection.detach();
+        connection.closeInDoubt();
         connection = null;
         connect();
     }
@@ -218,6 +221,11 @@
         }
     }
 
+    /** Reports the head of the response as soon as it is read; {@code unlessComplete}: its extent while that is not so. */
+    private void reportHead(Extent unlessComplete) {
+        response.takeHead(unlessComplete).ifPresent(connection::reportHead);
+    }
+
     private void receiveComplete(int count) {
         boolean certain = isCertain();
         boolean written = progress == Progress.WRITTEN;
@@ -277,16 +285,34 @@
     }
 
     /** Processes bytes read after the exchange was aborted, like {@link #receive} before the abort. */
-    void receiveLate(int count, EndpointConnection from) {
+    void receiveLate(int count) {
         parse(count);
-        if (response.isComplete() || response.isMalformed()) {
-            from.closeHalfClosed();
+        reportHead(count == EndpointConnection.END_OF_STREAM ? Extent.BROKEN_OFF : Extent.PARTIAL);
+        if (!response.isComplete() && !response.isMalformed()) {
+            return;
         }
-        if (response.isComplete()) {
+        connection.lateResponseRead();
+        boolean believed = response.isComplete() && lateResultCounts;
+        if (count == EndpointConnection.END_OF_STREAM || believed) {
+            connection.close();
+        } else {
+            connection.readStray(response);
+        }
+        if (believed) {
             listener.lateResult(completeResult());
         }
     }
 
+    /** The connection was closed before the late response was complete. */
+    void lateResponseEnded() {
+        reportHead(Extent.BROKEN_OFF);
+    }
+
+    /** Receives the head of each response on the connection. */
+    ResponseHeadListener responseHeads() {
+        return listener.responseHeads();
+    }
+
     /**
      * Ends the exchange and reports its result; does nothing if it has already ended. A complete response is always
      * reported as the result.
@@ -303,7 +329,7 @@
             timer.remove();
         }
         if (connection != null) {
-            recordIfDiscarded();
+            readUnbelieved();
             releaseConnection(failure);
         } else if (connecting != null) {
             connecting.cancel();
@@ -311,14 +337,17 @@
         listener.ended(progress == Progress.ANSWERED ? completeResult() : unansweredResult(failure));
     }
 
-    private void recordIfDiscarded() {
-        if (progress == Progress.ANSWERED || response.statusCode() == 0) {
+    /** Whatever becomes of a response that is not believed, what it asks for holds. */
+    private void readUnbelieved() {
+        if (progress == Progress.ANSWERED) {
             return;
         }
-        Reason reason = response.isComplete()
-                ? Reason.UNCERTAIN
-                : response.isMalformed() ? Reason.MALFORMED : Reason.INCOMPLETE;
-        pool.discardedResponses().record(connection, reason, response);
+        pool.discardedResponses().record(connection, response);
+        if (response.isMalformed()) {
+            connection.readStray(response);
+        } else {
+            reportHead(Extent.BROKEN_OFF);
+        }
     }
 
     /** The status of an incomplete response counts only if it can't be that of another request. */
@@ -337,15 +366,30 @@
         boolean unsettled = connection.answeredExchanges() > 1; // read on, for a response that refutes this one
         if (unused || (failure == null && (unsettled || pool.keepsOpen(endpoint, reuse)))) {
             pool.addIdle(endpoint, connection);
-        } else if (!mayRespondLate(failure) || !connection.halfClose(this)) {
+        } else if (mayRespondLate(failure)) {
+            if (!connection.halfClose(this)) {
+                connection.close();
+            }
+        } else if (mayBeFollowed()) {
+            connection.closeInDoubt();
+        } else {
             connection.close();
         }
     }
 
     private boolean mayRespondLate(Status failure) {
-        return listener.awaitsLateResult()
-                && isCertain()
-                && progress == Progress.WRITTEN
-                && (failure == Status.TIMED_OUT || failure == Status.ABANDONED);
+        boolean cancelled = failure == Status.TIMED_OUT || failure == Status.ABANDONED;
+        boolean pending = progress == Progress.WRITTEN && !response.isComplete() && !response.isMalformed();
+        lateResultCounts = cancelled && isCertain() && listener.awaitsLateResult();
+        boolean headCounts = listener.responseHeads() != ResponseHeadListener.NONE;
+        return pending && (lateResultCounts || (headCounts && (cancelled || failure == Status.ERROR)));
+    }
+
+    /** Whether a further response may arrive on the connection, because this one may belong to another request. */
+    private boolean mayBeFollowed() {
+        boolean requestSent = progress == Progress.WRITTEN || progress == Progress.ANSWERED;
+        boolean doubtful =
+                !isCertain() || connection.hasStrayInput() || !pool.reuseRules().mayReuse(endpoint);
+        return requestSent && doubtful;
     }
 }
--- a/src/main/java/elderseam/http/ExchangeListener.java
+++ b/src/main/java/elderseam/http/ExchangeListener.java
@@ -30,6 +30,11 @@
         return ConnectionReuse.SINGLE_USE;
     }
 
+    /** Receives the head of each response on the connections that carry the exchange, from its begin until the next one. */
+    default ResponseHeadListener responseHeads() {
+        return ResponseHeadListener.NONE;
+    }
+
     /** Called before each write; once it returns false, nothing more is written. */
     default boolean maySend() {
         return true;
@@ -38,15 +43,15 @@
     /** The last byte of the request was written on that connection. */
     default void written(AttemptConnection connection) {}
 
-    /**
-     * Whether a response that arrives after the exchange was cancelled or timed out is of use. If not, its connection is
-     * closed at once, as is one that was used before.
-     */
+    /** Whether a response that arrives after the exchange was cancelled or timed out is of use as a whole. */
     default boolean awaitsLateResult() {
         return false;
     }
 
-    /** A complete response arrived after the exchange was cancelled or timed out. Called at most once. */
+    /**
+     * A complete response arrived after the exchange was cancelled or timed out, on a connection that was not used before.
+     * Called at most once.
+     */
     default void lateResult(HttpResult result) {}
 
     /** The exchange has ended. Called exactly once. */
--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -1,9 +1,11 @@
 package elderseam.http;
 
+import elderseam.http.ResponseHead.Extent;
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.regex.Pattern;
 
@@ -48,6 +50,9 @@
     private int statusCode;
     private long remainingBytes; // unread bytes of the body or of the current chunk
     private boolean reusable = true;
+    private String lastHeader = "";
+    private boolean headComplete;
+    private boolean headTaken;
 
     /** Creates a parser that treats a response with more than {@code maxBodyBytes} of body as malformed. */
     HttpResponseReader(int maxBodyBytes) {
@@ -64,6 +69,38 @@
         return state == State.MALFORMED;
     }
 
+    /** Whether all headers of the final response were read. */
+    boolean isHeadComplete() {
+        return headComplete;
+    }
+
+    /**
+     * Returns the head as far as it was read, with the header that has no line end yet; once it is complete, it is returned
+     * once. Empty before the status was read.
+     */
+    Optional<ResponseHead> takeHead(Extent unlessComplete) {
+        if (statusCode == 0 || headTaken) {
+            return Optional.empty();
+        }
+        if (headComplete) {
+            headTaken = true;
+            return Optional.of(new ResponseHead(statusCode, headers, Extent.COMPLETE));
+        }
+        Map<String, String> known = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        known.putAll(headers);
+        int colon = line.indexOf(":");
+        if (colon > 0) {
+            known.putIfAbsent(
+                    line.substring(0, colon), line.substring(colon + 1).strip());
+        }
+        return Optional.of(new ResponseHead(statusCode, known, unlessComplete));
+    }
+
+    /** Makes another reader go on where this one found the head malformed. */
+    void continueLeniently(LenientHeadReader lenient) {
+        lenient.beginWithin(statusCode, headers, lastHeader, line);
+    }
+
     /** Whether the connection can carry another exchange after this response is complete. */
     boolean allowsReuse() {
         return reusable;
@@ -120,6 +157,7 @@
     private void readCharacter(char character) {
         headBytes++;
         if (headBytes > MAX_HEAD_BYTES || isForbidden(character)) {
+            line.append(character);
             state = State.MALFORMED;
         } else if (character != '\n') {
             line.append(character);
@@ -135,8 +173,12 @@
     private void readLine() {
         boolean endsWithCarriageReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
         String text = line.substring(0, line.length() - (endsWithCarriageReturn ? 1 : 0));
-        line.setLength(0);
         state = text.indexOf('\r') >= 0 ? State.MALFORMED : stateAfter(text);
+        if (state == State.MALFORMED) {
+            line.append('\n');
+        } else {
+            line.setLength(0);
+        }
     }
 
     private State stateAfter(String text) {
@@ -168,6 +210,7 @@
             return State.MALFORMED;
         }
         String value = text.substring(colon + 1).strip();
+        lastHeader = name;
         boolean repeated = headers.putIfAbsent(name, value) != null;
         boolean framing = name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
         return framing && repeated ? State.MALFORMED : State.HEADERS;
@@ -177,6 +220,7 @@
         if (statusCode < StatusCodes.OK) {
             return endOfInterimResponse();
         }
+        headComplete = true;
         if ("close".equalsIgnoreCase(headers.getOrDefault("Connection", ""))) {
             reusable = false;
         }
--- /dev/null
+++ b/src/main/java/elderseam/http/LenientHeadReader.java
@@ -0,0 +1,133 @@
+package elderseam.http;
+
+import elderseam.http.ResponseHead.Extent;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Finds the heads of responses in bytes that are not valid HTTP, or that no request asked for. It accepts whatever
+ * {@link HttpResponseReader} rejects: bytes ahead of a status line, folded and overlong lines, control characters. A head
+ * begins with a status line and ends with an empty line. The result is good enough for what a response asks of the
+ * dispatcher, and for nothing that it grants. Confined to the I/O thread.
+ */
+final class LenientHeadReader {
+    private static final int BYTE_MASK = 0xff;
+    private static final int MAX_LINE_CHARACTERS = 1 << 10; // the rest of a longer line is dropped
+    private static final int MAX_HEADERS = 100;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9][0-9])");
+
+    private final Consumer<ResponseHead> listener;
+    private final StringBuilder line = new StringBuilder();
+    private Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    private String lastHeader = ""; // the name of the header that a folded line continues
+    private int statusCode; // 0 outside of a head
+
+    /** {@code listener}: receives each head that is found, as {@link ResponseHeadListener} tells. */
+    LenientHeadReader(Consumer<ResponseHead> listener) {
+        this.listener = listener;
+    }
+
+    /**
+     * Begins within a head whose begin was read elsewhere.
+     *
+     * @param headers those that were read
+     * @param lastHeader the name of the last of them, which a folded line continues
+     * @param unread the text behind the last of them
+     */
+    void beginWithin(int statusCode, Map<String, String> headers, String lastHeader, CharSequence unread) {
+        this.statusCode = statusCode;
+        this.headers.putAll(headers);
+        this.lastHeader = lastHeader;
+        unread.chars().forEach(character -> readCharacter((char) character));
+    }
+
+    /** Reads all bytes. */
+    void read(ByteBuffer bytes) {
+        while (bytes.hasRemaining()) {
+            readCharacter((char) (bytes.get() & BYTE_MASK));
+        }
+        report(Extent.PARTIAL);
+    }
+
+    /** No further bytes will be read. */
+    void end() {
+        report(Extent.BROKEN_OFF);
+        statusCode = 0;
+    }
+
+    /** Reports the head that has begun, with the header that has no line end yet. */
+    private void report(Extent extent) {
+        if (statusCode == 0) {
+            return;
+        }
+        Map<String, String> known = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        known.putAll(headers);
+        addHeader(line.toString(), known);
+        listener.accept(new ResponseHead(statusCode, known, extent));
+    }
+
+    private void readCharacter(char character) {
+        if (character == '\n') {
+            readLine(line.toString());
+            line.setLength(0);
+        } else if ((character >= ' ' || character == '\t') && line.length() < MAX_LINE_CHARACTERS) {
+            line.append(character);
+        }
+    }
+
+    private void readLine(String text) {
+        int status = lastStatus(text);
+        if (status != 0) {
+            beginHead(status);
+        } else if (text.isBlank()) {
+            endHead();
+        } else if (Character.isWhitespace(text.charAt(0)) && !lastHeader.isEmpty()) {
+            headers.merge(lastHeader, text.strip(), String::concat);
+        } else if (headers.size() < MAX_HEADERS) {
+            lastHeader = addHeader(text, headers);
+        }
+    }
+
+    /** The status of the last status line that begins in the text; 0 if there is none. */
+    private static int lastStatus(String text) {
+        int status = 0;
+        Matcher statusLine = STATUS_LINE.matcher(text);
+        while (statusLine.find()) {
+            status = Integer.parseInt(statusLine.group(1));
+        }
+        return status;
+    }
+
+    /** The head before, if it has not ended, was cut: its rest will not arrive. */
+    private void beginHead(int status) {
+        line.setLength(0);
+        end();
+        statusCode = status;
+        headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        lastHeader = "";
+    }
+
+    private void endHead() {
+        if (statusCode != 0) {
+            listener.accept(new ResponseHead(statusCode, headers, Extent.COMPLETE));
+        }
+        statusCode = 0;
+        headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        lastHeader = "";
+    }
+
+    /** Adds a header unless it is there; returns its name, empty if the text is no header. */
+    private static String addHeader(String text, Map<String, String> target) {
+        int colon = text.indexOf(':');
+        if (colon < 1) {
+            return "";
+        }
+        String name = text.substring(0, colon).strip();
+        target.putIfAbsent(name, text.substring(colon + 1).strip());
+        return name;
+    }
+}
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -184,6 +184,16 @@
         }
     }
 
+    @Override
+    public void retryAfter(long now, String address, long waitNs) {
+        advance(now);
+        EndpointState endpoint = directory.endpoints.get(address);
+        if (endpoint != null && waitNs > 0) {
+            endpoint.group.rate.onRetryAfter(waitNs, now);
+            endpoint.group.breaker.onRetryAfter(waitNs, now);
+        }
+    }
+
     @Override
     public void hostStalled(long now, long stallNs) {
         advance(now);
--- a/src/main/java/elderseam/policy/PolicyEvents.java
+++ b/src/main/java/elderseam/policy/PolicyEvents.java
@@ -83,6 +83,12 @@
     /** A response arrived for an attempt that had already ended without one; reports its Retry-After and limit. */
     void lateAnswer(long now, String endpoint, long retryAfterNs, LimitReport report);
 
+    /**
+     * An endpoint asked that its destination is not called for that long, in a response that need not be the answer to
+     * any attempt. A longer wait that is in force stays.
+     */
+    void retryAfter(long now, String endpoint, long waitNs);
+
     /** The host stalled for that long and did not read from the network; that time does not make calls overdue. */
     void hostStalled(long now, long stallNs);
 
