Waits: one that is read after its request, its endpoint or its process is gone binds too

Cause: a wait was tied to the life of what it came with. What was dropped, and who relied on it: - the outcome of an attempt that the policy no longer knows (DispatchPolicy.outcome): its wait; the breaker and rate control of the destination - the outcome that an older process forwards for an attempt which the successor has given up (Handover.outcomeForwarded): the same - a late answer of an endpoint that has left the list, while its destination has not, or which is listed again (lateAnswer): the same.

--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -125,8 +125,7 @@
             } else if (isLastAttempt(request, ended)) {
                 request.lastAttempt.ended(ended.outcome());
             } else {
-                policy.retryAfterReceived(
-                        clock.now(), ended.endpoint(), ended.outcome().retryAfterNs());
+                applyRetryAfter(ended);
             }
         }
         dispatcher.resume();
@@ -193,9 +192,17 @@
             }
         } else if (last && request.inFlightCall != null && adopted.remove(forwarded.requestId())) {
             request.lastAttempt.ended(forwarded.outcome());
+        } else {
+            applyRetryAfter(forwarded);
         }
     }
 
+    /** The outcome comes too late for its request, but what its endpoint asked for holds. */
+    private void applyRetryAfter(ForwardedOutcome forwarded) {
+        policy.retryAfterReceived(
+                clock.now(), forwarded.endpoint(), forwarded.outcome().retryAfterNs());
+    }
+
     /** The predecessor has exited: its attempts without a forwarded outcome may have run. */
     public void predecessorExited() {
         for (String id : List.copyOf(adopted)) {
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -157,7 +157,8 @@
         context.answerLoss.roll(now);
         PendingRequest request = requests.get(outcome.id());
         AttemptRecord call = request == null ? null : requests.detach(request, outcome.attempt());
-        if (call == null) {
+        if (call == null) { // the request is over; what its endpoint asked for is not
+            retryAfter(now, outcome.endpoint(), outcome.retryAfterNs());
             return;
         }
         outliers.onOutcome(call, outcome, now);
@@ -177,20 +178,20 @@
     @Override
     public void lateAnswer(long now, String address, long waitNs, LimitReport report) {
         advance(now);
-        EndpointState endpoint = directory.endpoints.get(address);
-        if (endpoint != null) {
-            endpoint.group.rate.onRetryAfter(waitNs, now);
-            endpoint.group.rate.onReport(report, now);
+        EndpointGroup group = directory.groupOf(address);
+        if (group != null) {
+            group.rate.onRetryAfter(waitNs, now);
+            group.rate.onReport(report, now);
         }
     }
 
     @Override
     public void retryAfter(long now, String address, long waitNs) {
         advance(now);
-        EndpointState endpoint = directory.endpoints.get(address);
-        if (endpoint != null && waitNs > 0) {
-            endpoint.group.rate.onRetryAfter(waitNs, now);
-            endpoint.group.breaker.onRetryAfter(waitNs, now);
+        EndpointGroup group = directory.groupOf(address);
+        if (group != null && waitNs > 0) {
+            group.rate.onRetryAfter(waitNs, now);
+            group.breaker.onRetryAfter(waitNs, now);
         }
     }
 
--- a/src/main/java/elderseam/policy/EndpointDirectory.java
+++ b/src/main/java/elderseam/policy/EndpointDirectory.java
@@ -23,6 +23,8 @@
     final Map<Long, DestinationState> destinations = new HashMap<>();
     /** Destinations without a listed endpoint. */
     final List<DestinationState> empty = new ArrayList<>();
+    /** The groups of endpoints whose state was removed, by address, the latest last: responses may still arrive. */
+    private final Map<String, EndpointGroup> formerGroups = new LinkedHashMap<>();
     /** Whether an address is in this sender's subset. */
     private Predicate<String> preferred = address -> true;
 
@@ -141,13 +143,21 @@
         return endpoint;
     }
 
+    /** The group of an endpoint by its address, also for a while after its state was removed; null if it is unknown. */
+    EndpointGroup groupOf(String address) {
+        EndpointState endpoint = endpoints.get(address);
+        return endpoint == null ? formerGroups.get(address) : endpoint.group;
+    }
+
     private EndpointGroup group(DestinationState destination, String address) {
         boolean separate = destination.kind.breakerPerEndpoint();
+        EndpointGroup former = formerGroups.remove(address);
         if (!separate && !destination.groups.isEmpty()) {
             return destination.groups.get(0);
         }
         String name = separate ? destination.id + "/" + address : Long.toString(destination.id);
-        EndpointGroup group = new EndpointGroup(name, destination.kind.batch(), context, context.now);
+        boolean waits = former != null && former.name.equals(name) && context.now < former.rate.retryAfterUntil;
+        EndpointGroup group = waits ? former : new EndpointGroup(name, destination.kind.batch(), context, context.now);
         destination.groups.add(group);
         return group;
     }
@@ -156,6 +166,10 @@
     private void remove(EndpointState endpoint) {
         DestinationState destination = endpoint.destination;
         endpoints.remove(endpoint.address);
+        formerGroups.put(endpoint.address, endpoint.group);
+        if (formerGroups.size() > MAX_ABSENT) {
+            formerGroups.remove(formerGroups.keySet().iterator().next());
+        }
         destination.endpoints.remove(endpoint);
         recordIfEmpty(destination);
         if (destination.kind.breakerPerEndpoint()) {
--- a/src/test/java/elderseam/core/HandoverTest.java
+++ b/src/test/java/elderseam/core/HandoverTest.java
@@ -67,6 +67,42 @@
         assertEquals(List.of(), cancelled);
     }
 
+    // Guards against issue 56: a wait that the predecessor reads after the transfer is lost to the successor.
+    @Test
+    void aWaitThatThePredecessorReadsBindsTheSuccessor() throws IOException {
+        harness.submit("a");
+        Handover.State state = harness.dispatcher.handover().transferTo(forwarded::add);
+        RequestDispatcher successor = harness.newDispatcher();
+        successor.handover().takeOver(state, attempt -> {});
+        DispatcherHarness.listEndpoint(successor, ListUpdateKind.CACHED);
+        successor.recover(() -> 0, () -> {});
+        harness.dispatcher.endpointResponses().retryAfterReceived("h", 5_000 * Clock.MILLISECOND_NS, false);
+        successor.handover().outcomeForwarded(forwarded.get(0));
+        harness.dispatcher = successor;
+        harness.submit("b");
+        assertEquals(1, harness.attempts.size(), "no attempt during the wait");
+    }
+
+    // Guards against issue 56: as above, in the outcome of an attempt that the successor has given up meanwhile.
+    @Test
+    void aWaitInAnOutcomeThatComesTooLateBindsTheSuccessor() throws IOException {
+        harness.submit("a");
+        Handover.State state = harness.dispatcher.handover().transferTo(forwarded::add);
+        RequestDispatcher successor = harness.newDispatcher();
+        successor.handover().takeOver(state, attempt -> {});
+        DispatcherHarness.listEndpoint(successor, ListUpdateKind.CACHED);
+        successor.recover(() -> 0, () -> {});
+        successor.handover().predecessorExited();
+        long waitNs = 5_000 * Clock.MILLISECOND_NS;
+        harness.end(
+                0,
+                new AttemptOutcome(AttemptOutcome.Progress.ANSWERED, AttemptOutcome.Status.OVERLOADED, waitNs, 0, 0));
+        successor.handover().outcomeForwarded(forwarded.get(0));
+        harness.dispatcher = successor;
+        harness.submit("b");
+        assertEquals(1, harness.attempts.size(), "no attempt during the wait");
+    }
+
     /** After a rollback, the predecessor applies the forwarded outcomes, and records them in the journal. */
     @Test
     void aRollbackAppliesTheForwardedOutcomes() throws IOException {
--- a/src/test/java/elderseam/policy/ChurnTest.java
+++ b/src/test/java/elderseam/policy/ChurnTest.java
@@ -114,6 +114,42 @@
         sender.advance(4 * S); // the harness asserts at each call that the Retry-After has ended
     }
 
+    // Guards against issue 56: the wait of an endpoint that has left the list is lost to the rest of its destination.
+    @Test
+    void aWaitOfARemovedEndpointBindsItsDestination() {
+        harness.updateEndpoints(ListUpdateKind.COMPLETE, PolicyTestHarness.ready("b:1", 1, 0));
+        harness.policy.retryAfter(harness.now, "a:1", 5 * S);
+        String id = harness.submit(0, -1, 1);
+        harness.advance(4 * S);
+        assertFalse(harness.isInFlight(id), "4 s after a Retry-After of 5 s");
+    }
+
+    // Guards against issue 56: as above, for an endpoint with a breaker of its own that is listed again.
+    @Test
+    void aWaitOfARemovedEndpointHoldsOnceItIsListedAgain() {
+        PolicyTestHarness sender = withBreakerPerEndpoint(LISTED);
+        sender.updateEndpoints(ListUpdateKind.CHANGES, REMOVED);
+        sender.policy.retryAfter(sender.now, "a:1", 5 * S);
+        sender.updateEndpoints(ListUpdateKind.CHANGES, LISTED);
+        String id = sender.submit(0, -1, 1);
+        sender.advance(4 * S);
+        assertFalse(sender.isInFlight(id), "4 s after a Retry-After of 5 s");
+    }
+
+    // Guards against issue 56: the wait in the outcome of an attempt is lost if its request is no longer known.
+    @Test
+    void aWaitBindsThoughItsRequestIsOver() {
+        String id = harness.submit(0, -1, 1);
+        String address = harness.onlyAttempt(id).endpoint();
+        harness.answer(id, AttemptResult.DELIVERED);
+        harness.policy.outcome(
+                harness.now,
+                new CompletedAttempt(id, 0, address, AttemptResult.FULL, 0, 5 * S, false, true, LimitReport.NONE));
+        String next = harness.submit(0, -1, 1);
+        harness.advance(4 * S);
+        assertFalse(harness.isInFlight(next), "4 s after a Retry-After of 5 s");
+    }
+
     /** An endpoint with an open breaker still has it open when it is listed again. */
     @Test
     void anOpenBreakerSurvivesRemovalOfItsEndpoint() {
