Discovery: a list that can't be read whole does not move the version

What was discarded: the entries; who relied on them: the endpoint list and with it the rule on draining.

--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -186,8 +186,14 @@
         }
     }
 
-    /** Applies a response of discovery: the complete list, or only the changed entries. */
-    private void applyResponse(JsonValue list) {
+    /**
+     * Applies a response of discovery: the complete list, or only the changed entries.
+     *
+     * @throws IOException if it is not readable as a whole; its version then does not count as known, so that discovery
+     *     sends what it holds again
+     */
+    private void applyResponse(JsonValue list) throws IOException {
+        EndpointList.requireReadable(list);
         version = list.get("version").asLong(version);
         needsCompleteList = false;
         watch();
--- a/src/main/java/elderseam/frontend/platform/EndpointList.java
+++ b/src/main/java/elderseam/frontend/platform/EndpointList.java
@@ -5,6 +5,7 @@
 import elderseam.http.EndpointAddress;
 import elderseam.policy.EndpointStatus;
 import elderseam.policy.ListedEndpoint;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
     private static final String READY_STATE = "SERVING";
     private static final String DELETED_STATE = "DELETED";
     private static final String DRAINING_STATE = "DRAINING";
+    private static final long NO_VERSION = -1;
 
     /** An endpoint and the network address at which this dispatcher connects to it. */
     private record Entry(EndpointAddress address, ListedEndpoint endpoint) {}
@@ -29,6 +31,23 @@
         this.zones = settings.list("localities");
     }
 
+    /**
+     * Checks that a response of discovery holds a list in which every entry names its endpoint.
+     *
+     * @throws IOException if it does not, so that an entry, perhaps a removal, would be lost
+     */
+    static void requireReadable(JsonValue response) throws IOException {
+        boolean hasVersion = response.get("version").asLong(NO_VERSION) != NO_VERSION;
+        if (!hasVersion || !response.get("servers").isList()) {
+            throw new IOException("expected a version and a list of servers");
+        }
+        for (JsonValue server : response.get("servers").items()) {
+            if (server.get("id").asText("").isEmpty()) {
+                throw new IOException("a server without an id");
+            }
+        }
+    }
+
     /** The network address of an endpoint; its text is empty if the endpoint is not listed. */
     public EndpointAddress addressOf(String id) {
         Entry entry = entries.get(id);
