Heads of responses: once for each line; also ahead of a request and behind a failed write

Found on rereading. A 429 that arrives byte by byte was reported after each byte, a policy event each; now once a line and once at its end. LenientHeadReaderTest, HttpResponseReaderTest, AttemptProgressTest, PlatformRetryAfterTest pass; no test of its own for the two paths.

--- a/src/main/java/elderseam/core/RetryAfterListener.java
+++ b/src/main/java/elderseam/core/RetryAfterListener.java
@@ -9,7 +9,7 @@
     /**
      * An endpoint has asked that its destination is not called for {@code waitNs}, in whatever response.
      *
-     * @param presumed whether the response was not read to the end of what it asks for, so that the wait is a presumption
+     * @param presumed whether what the response asks for can't be read, so that the wait is a presumption
      */
     void retryAfterReceived(String endpoint, long waitNs, boolean presumed);
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
@@ -35,7 +35,7 @@
         Reading reading = reading(head);
         long waitNs = RetryAfterRules.waitNs(reading, nanoseconds(head.header(HEADER)));
         if (waitNs > 0) {
-            listener.retryAfterReceived(endpoint.id(), waitNs, reading != Reading.EXACT);
+            listener.retryAfterReceived(endpoint.id(), waitNs, reading == Reading.UNREADABLE);
         }
     }
 
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -166,6 +166,7 @@
                 listener.written(new AttemptConnection(connection.number, connection.answeredExchanges()));
             }
         } catch (IOException e) {
+            connection.readAvailable(); // the endpoint may have responded before it closed the connection
             finish(Status.BROKEN);
         }
     }
@@ -388,8 +389,7 @@
     /** Whether a further response may arrive on the connection, because this one may belong to another request. */
     private boolean mayBeFollowed() {
         boolean requestSent = progress == Progress.WRITTEN || progress == Progress.ANSWERED;
-        boolean doubtful =
-                !isCertain() || connection.hasStrayInput() || !pool.reuseRules().mayReuse(endpoint);
-        return requestSent && doubtful;
+        boolean distrusted = !pool.reuseRules().mayReuse(endpoint);
+        return connection.hasStrayInput() || (requestSent && (distrusted || !isCertain()));
     }
 }
--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -53,6 +53,8 @@
     private String lastHeader = "";
     private boolean headComplete;
     private boolean headTaken;
+    private int headLines;
+    private int takenAtLine;
 
     /** Creates a parser that treats a response with more than {@code maxBodyBytes} of body as malformed. */
     HttpResponseReader(int maxBodyBytes) {
@@ -75,13 +77,15 @@
     }
 
     /**
-     * Returns the head as far as it was read, with the header that has no line end yet; once it is complete, it is returned
-     * once. Empty before the status was read.
+     * Returns the head as far as it was read, with the header that has no line end yet. Empty before the status was read,
+     * after the complete head was returned, and for a partial head if no line was added.
      */
     Optional<ResponseHead> takeHead(Extent unlessComplete) {
-        if (statusCode == 0 || headTaken) {
+        boolean unchanged = takenAtLine == headLines && unlessComplete == Extent.PARTIAL;
+        if (statusCode == 0 || headTaken || (!headComplete && unchanged)) {
             return Optional.empty();
         }
+        takenAtLine = headLines;
         if (headComplete) {
             headTaken = true;
             return Optional.of(new ResponseHead(statusCode, headers, Extent.COMPLETE));
@@ -171,6 +175,7 @@
     }
 
     private void readLine() {
+        headLines++;
         boolean endsWithCarriageReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
         String text = line.substring(0, line.length() - (endsWithCarriageReturn ? 1 : 0));
         state = text.indexOf('\r') >= 0 ? State.MALFORMED : stateAfter(text);
--- a/src/main/java/elderseam/http/LenientHeadReader.java
+++ b/src/main/java/elderseam/http/LenientHeadReader.java
@@ -25,6 +25,8 @@
     private Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     private String lastHeader = ""; // the name of the header that a folded line continues
     private int statusCode; // 0 outside of a head
+    private int lines;
+    private int reportedLines;
 
     /** {@code listener}: receives each head that is found, as {@link ResponseHeadListener} tells. */
     LenientHeadReader(Consumer<ResponseHead> listener) {
@@ -50,7 +52,9 @@
         while (bytes.hasRemaining()) {
             readCharacter((char) (bytes.get() & BYTE_MASK));
         }
-        report(Extent.PARTIAL);
+        if (lines != reportedLines) {
+            report(Extent.PARTIAL);
+        }
     }
 
     /** No further bytes will be read. */
@@ -61,6 +65,7 @@
 
     /** Reports the head that has begun, with the header that has no line end yet. */
     private void report(Extent extent) {
+        reportedLines = lines;
         if (statusCode == 0) {
             return;
         }
@@ -80,6 +85,7 @@
     }
 
     private void readLine(String text) {
+        lines++;
         int status = lastStatus(text);
         if (status != 0) {
             beginHead(status);
@@ -106,6 +112,7 @@
     private void beginHead(int status) {
         line.setLength(0);
         end();
+        reportedLines = 0;
         statusCode = status;
         headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         lastHeader = "";
