Order trial: the soak plays spoilt rejections, and a handover ends no wait

WaitChecker took the signal as the end of all waits; now it is the moment at which the process has ended, and a handover, a stop and a reload end none (stricter).

--- a/src/main/java/elderseam/testkit/ordering/OrderHistory.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderHistory.java
@@ -17,21 +17,21 @@
     /** One call of a message at an endpoint. */
     static final class Call {
         final String messageId;
-        final int destination;
+        final int breaker;
         final long start;
         long end = NEVER;
         /** What ended it; null while it is open. */
         CallEnd how;
 
-        Call(String messageId, int destination, long start) {
+        Call(String messageId, int breaker, long start) {
             this.messageId = messageId;
-            this.destination = destination;
+            this.breaker = breaker;
             this.start = start;
         }
     }
 
-    /** A wait that a destination asked for. */
-    record Wait(int destination, AnswerFault fault, long start, long end) {}
+    /** A wait that binds the endpoints of a circuit breaker. */
+    record Wait(int breaker, AnswerFault fault, long start, long end) {}
 
     /** How a call ended. */
     enum CallEnd {
@@ -109,9 +109,9 @@
         byId.get(id).accepted = true;
     }
 
-    /** The last byte of a call has come to an endpoint of a destination. */
-    synchronized Call callBegan(String id, int destination) {
-        Call call = new Call(id, destination, System.nanoTime());
+    /** The last byte of a call has come to an endpoint with that circuit breaker. */
+    synchronized Call callBegan(String id, int breaker) {
+        Call call = new Call(id, breaker, System.nanoTime());
         calls.add(call);
         Message message = byId.get(id);
         if (message == null) {
@@ -128,10 +128,10 @@
         call.how = how;
     }
 
-    /** An endpoint has written that its destination asks for a wait from now on. */
-    synchronized void waitBegan(int destination, int waitMs, AnswerFault fault) {
+    /** An endpoint with that circuit breaker has written that it asks for a wait from now on. */
+    synchronized void waitBegan(int breaker, int waitMs, AnswerFault fault) {
         long now = System.nanoTime();
-        waits.add(new Wait(destination, fault, now, now + TimeUnit.MILLISECONDS.toNanos(waitMs)));
+        waits.add(new Wait(breaker, fault, now, now + TimeUnit.MILLISECONDS.toNanos(waitMs)));
     }
 
     /** All calls, in the order of their beginning; read once nothing is added any more. */
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -18,6 +18,9 @@
     private static final int UNLIMITED = 100_000;
     private static final int MAX_UNORDERED_CLIENTS = 12;
     private static final int MAX_COPY_DELAY_MS = 2_000;
+    private static final int MIN_WAIT_MS = 300;
+    private static final int MAX_WAIT_MS = 4_000;
+    private static final double MAX_REJECTED_RATIO = 0.1;
 
     private OrderSoak() {}
 
@@ -49,17 +52,26 @@
         int keys = random.nextInt(3, 13);
         int maxPauseMs = random.nextInt(20, 800);
         int minRemainingMs = random.nextInt(300, 3_000);
-        OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
-                random.nextInt(1, 4),
-                random.nextInt(1, 40),
-                random.nextInt(40, 250),
-                random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3,
-                random.nextInt(1, 300),
-                random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2,
-                copyFault(random),
-                1,
-                RejectionFault.NONE);
+        int endpoints = random.nextInt(1, 4);
+        int minDelayMs = random.nextInt(1, 40);
+        int maxDelayMs = random.nextInt(40, 250);
+        double badAnswerRatio = random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3;
+        int notificationDelayMs = random.nextInt(1, 300);
+        double refusedNotificationRatio = random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2;
+        OrderTrial.CopyFault copies = copyFault(random);
         int unorderedClients = random.nextInt(MAX_UNORDERED_CLIENTS + 1);
+        RejectionFault rejections = rejectionFault(random);
+        int destinations = rejections.equals(RejectionFault.NONE) ? 1 : random.nextInt(1, 5);
+        OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
+                endpoints * destinations,
+                minDelayMs,
+                maxDelayMs,
+                badAnswerRatio,
+                notificationDelayMs,
+                refusedNotificationRatio,
+                copies,
+                destinations,
+                rejections);
         OrderTrial.Load load = new OrderTrial.Load(
                 keys, unorderedClients, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
         return OrderTrial.play(folder, seed, load, surroundings, actions(seed));
@@ -75,6 +87,17 @@
         return new OrderTrial.CopyFault(random.nextDouble() / 2, minDelayMs, maxDelayMs, random.nextDouble() / 2);
     }
 
+    /** Rejections with a wait in two of three runs, spoilt in all ways. */
+    private static RejectionFault rejectionFault(SplittableRandom random) {
+        if (random.nextInt(3) == 0) {
+            return RejectionFault.NONE;
+        }
+        int minWaitMs = random.nextInt(MIN_WAIT_MS, MAX_WAIT_MS);
+        int maxWaitMs = random.nextInt(minWaitMs, MAX_WAIT_MS + 1);
+        List<AnswerFault> faults = List.of(AnswerFault.values());
+        return new RejectionFault(random.nextDouble() * MAX_REJECTED_RATIO, minWaitMs, maxWaitMs, faults);
+    }
+
     /** The signals of a seed, in series. */
     static List<Action> actions(long seed) {
         SplittableRandom random = new SplittableRandom(~seed);
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -196,8 +196,9 @@
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < surroundings.endpoints(); i++) {
             int destination = 1 + i % surroundings.destinations();
+            int breaker = surroundings.destinations() > 1 ? destination : i;
             RecordingEndpoint endpoint =
-                    new RecordingEndpoint(address, destination, history, random.split(), surroundings, copies);
+                    new RecordingEndpoint(address, breaker, history, random.split(), surroundings, copies);
             open.add(endpoint);
             entries.add(listEntry("s" + i, destination, endpoint.address()));
         }
@@ -302,6 +303,7 @@
         if (process.isAlive()) {
             return false;
         }
+        restarts.addEnd(System.nanoTime());
         Thread.sleep(random.nextInt(1, MAX_DOWN_MS));
         process = startProcess();
         ServedProcess.awaitReady(dispatcherAddress);
--- a/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -27,23 +27,23 @@
     private final int maxDelayMs;
     private final double faultRatio;
     private final CopiedAnswers copies;
-    private final int destination;
+    private final int breaker;
     private final SpoiltRejections rejections;
     private final LoopbackServer server;
 
     /**
-     * @param destination that it serves
+     * @param breaker number of the circuit breaker that it shares with the endpoints which a wait of one of them binds
      * @param random used by many threads in an order of their own, under this object's lock
      */
     RecordingEndpoint(
             InetAddress address,
-            int destination,
+            int breaker,
             OrderHistory history,
             SplittableRandom random,
             OrderTrial.Surroundings surroundings,
             CopiedAnswers copies)
             throws IOException {
-        this.destination = destination;
+        this.breaker = breaker;
         this.history = history;
         this.random = random;
         this.minDelayMs = surroundings.minDelayMs();
@@ -62,7 +62,7 @@
         boolean used = false;
         for (HttpConnection.Message request = connection.read(0); request != null; request = connection.read(0)) {
             Optional<SpoiltRejections.Rejection> rejection = rejections.next(used);
-            Call call = history.callBegan(request.header("X-Txn"), destination);
+            Call call = history.callBegan(request.header("X-Txn"), breaker);
             boolean open = rejection.isPresent() ? reject(connection, call, rejection.get()) : answer(connection, call);
             if (!open) {
                 return;
@@ -104,8 +104,8 @@
         if (rejection.fault() != AnswerFault.AFTER_GIVE_UP) {
             history.callEnded(call, succeeds ? CallEnd.DELIVERED : CallEnd.REFUSED);
         }
-        boolean open = rejections.write(
-                connection, rejection, (waitMs, fault) -> history.waitBegan(destination, waitMs, fault));
+        boolean open =
+                rejections.write(connection, rejection, (waitMs, fault) -> history.waitBegan(breaker, waitMs, fault));
         if (call.how == null) {
             history.callEnded(call, CallEnd.BROKEN);
         }
--- a/src/main/java/elderseam/testkit/ordering/RestartWindows.java
+++ b/src/main/java/elderseam/testkit/ordering/RestartWindows.java
@@ -11,17 +11,23 @@
     private record Window(long start, long end) {}
 
     private final List<Window> windows = new ArrayList<>();
+    private final List<Long> ends = new ArrayList<>();
 
     /** No notification is overdue between these times; windows come in the order of their starts. */
     void add(long start, long end) {
         windows.add(new Window(start, end));
     }
 
-    /** The start of the first window that begins between these times; the later one if there is none. */
-    long firstStartWithin(long from, long to) {
-        return windows.stream()
-                .mapToLong(Window::start)
-                .filter(start -> from <= start && start < to)
+    /** A process had ended by that time, and with it the waits that it knew. */
+    void addEnd(long time) {
+        ends.add(time);
+    }
+
+    /** The first end of a process between these times; the later one if there is none. */
+    long firstEndWithin(long from, long to) {
+        return ends.stream()
+                .mapToLong(Long::longValue)
+                .filter(end -> from <= end && end < to)
                 .min()
                 .orElse(to);
     }
--- a/src/main/java/elderseam/testkit/ordering/WaitChecker.java
+++ b/src/main/java/elderseam/testkit/ordering/WaitChecker.java
@@ -7,8 +7,8 @@
 import java.util.Locale;
 
 /**
- * Checks a finished history: no destination is called during a wait that one of its endpoints asked for, except within the
- * first 100 ms. A restart ends a wait.
+ * Checks a finished history: no endpoint is called during a wait that it asked for, or another one with the same circuit
+ * breaker, except within the first 100 ms. The end of the process ends a wait; a handover does not.
  */
 final class WaitChecker {
     /** Calls that arrive so soon after the answer are let through, by the protocol. */
@@ -27,9 +27,9 @@
     List<String> check(OrderHistory history) {
         List<String> violations = new ArrayList<>();
         for (Wait wait : history.waits()) {
-            long end = restarts.firstStartWithin(wait.start(), wait.end());
+            long end = restarts.firstEndWithin(wait.start(), wait.end());
             List<Call> inside = history.calls().stream()
-                    .filter(call -> call.destination == wait.destination())
+                    .filter(call -> call.breaker == wait.breaker())
                     .filter(call -> call.start > wait.start() + LET_THROUGH_NS && call.start < end)
                     .toList();
             if (!inside.isEmpty()) {
@@ -42,10 +42,10 @@
     private String report(Wait wait, List<Call> inside) {
         return String.format(
                 Locale.ROOT,
-                "wait of %.3f s at %.3f s: destination %d, %s: %d calls inside, the first at %.3f s (%s)",
+                "wait of %.3f s at %.3f s: breaker %d, %s: %d calls inside, the first at %.3f s (%s)",
                 (wait.end() - wait.start()) / 1e9,
                 (wait.start() - origin) / 1e9,
-                wait.destination(),
+                wait.breaker(),
                 wait.fault(),
                 inside.size(),
                 (inside.get(0).start - origin) / 1e9,
--- a/src/test/java/elderseam/scenario/BatchedCallsTest.java
+++ b/src/test/java/elderseam/scenario/BatchedCallsTest.java
@@ -58,6 +58,22 @@
                 """);
     }
 
+    // Guards against issue 56: the wait in the answer to a shared call is discarded where the answer breaks off.
+    @Test
+    void theWaitOfAnAnswerThatBreaksOffIsKept() throws Exception {
+        plays("""
+                h1 expect POST /receive-many
+                h1 raw HTTP/1.1 200 x\\r\\nX-RateLimit-Wait-Ms: 1500\\r\\nContent-Length: 60\\r\\n\\r\\n[{"id":"b"
+                h1 close
+                platform expect undeliverable
+                c send POST /status-update; {to} X-Txn: d | 4
+                c expect 202
+                h1 wait quiet 1000
+                h1 expect X-Txn: d
+                h1 send 200
+                """);
+    }
+
     /** Of a message that the answer does not name nobody knows whether it ran. */
     @Test
     void anAnswerWithTooFewPartsEndsTheOthersAsUnsure() throws Exception {
