CloudEvents: a date as Retry-After, and the wait of a rejection that can't be read

An endpoint that told its wait as a date was called again at once (0 was read); so was one whose Retry-After is no number. What was discarded: the wait; who relied on it: the breaker and rate control of its destination. The date counts from the answer's own Date, so that neither machine's clock matters; without a Date, or with a text that is neither, the wait is presumed, 5 s, as for one that broke off.

--- a/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventAttemptSender.java
@@ -68,7 +68,7 @@
             return AttemptOutcome.unanswered(result.progress(), result.failure());
         }
         if (EventRetryAfter.isRejection(result.code())) {
-            long retryAfterNs = EventRetryAfter.nanoseconds(result.header(EventRetryAfter.HEADER));
+            long retryAfterNs = EventRetryAfter.nanoseconds(result.headers());
             return new AttemptOutcome(result.progress(), Status.OVERLOADED, retryAfterNs, 0, 0);
         }
         return new AttemptOutcome(result.progress(), Status.ERROR, 0, 0, 0);
