Heads of responses: lenient reading ends after 256 KiB on a connection

Found on rereading: a connection that is read on for heads alone, for 1 s, was read as fast as its endpoint sends, such as the body of a response that is too long; before, it was closed at once. Now it is closed after 256 KiB. itStopsWhereAnEndpointSendsWithoutAnEnd is new with the bound. The trial plays a rejection after a give-up on new connections too.

--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -256,11 +256,12 @@
     }
 
     private void receiveHalfClosed(int count) {
-        if (count == END_OF_STREAM) {
-            close();
-        } else {
+        if (count != END_OF_STREAM) {
             readStray();
         }
+        if (count == END_OF_STREAM || strayHeads.isExhausted()) {
+            close();
+        }
     }
 
     /**
--- a/src/main/java/elderseam/http/LenientHeadReader.java
+++ b/src/main/java/elderseam/http/LenientHeadReader.java
@@ -18,6 +18,7 @@
     private static final int BYTE_MASK = 0xff;
     private static final int MAX_LINE_CHARACTERS = 1 << 10; // the rest of a longer line is dropped
     private static final int MAX_HEADERS = 100;
+    private static final int MAX_BYTES = 256 << 10; // bounds what a connection costs that sends without an end
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9][0-9])");
 
     private final Consumer<ResponseHead> listener;
@@ -25,6 +26,7 @@
     private Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     private String lastHeader = ""; // the name of the header that a folded line continues
     private int statusCode; // 0 outside of a head
+    private int unreadBytes = MAX_BYTES;
     private int lines;
     private int reportedLines;
 
@@ -47,9 +49,15 @@
         unread.chars().forEach(character -> readCharacter((char) character));
     }
 
-    /** Reads all bytes. */
+    /** Whether so much was read that no more is. */
+    boolean isExhausted() {
+        return unreadBytes <= 0;
+    }
+
+    /** Reads all bytes, unless it is exhausted. */
     void read(ByteBuffer bytes) {
-        while (bytes.hasRemaining()) {
+        unreadBytes -= bytes.remaining();
+        while (bytes.hasRemaining() && !isExhausted()) {
             readCharacter((char) (bytes.get() & BYTE_MASK));
         }
         if (lines != reportedLines) {
--- a/src/main/java/elderseam/testkit/ordering/AnswerFault.java
+++ b/src/main/java/elderseam/testkit/ordering/AnswerFault.java
@@ -45,7 +45,7 @@
     /** Its body is longer than the dispatcher accepts. */
     BODY_TOO_LONG(false),
     /** It is written after the dispatcher has given the call up. */
-    AFTER_GIVE_UP(true);
+    AFTER_GIVE_UP(false);
 
     /** Whether it is played on connections that have carried a call before, and on no others. */
     private final boolean onUsedConnections;
--- a/src/test/java/elderseam/http/LenientHeadReaderTest.java
+++ b/src/test/java/elderseam/http/LenientHeadReaderTest.java
@@ -58,6 +58,17 @@
         assertLatest(Extent.BROKEN_OFF, 429, "15");
     }
 
+    @Test
+    void itStopsWhereAnEndpointSendsWithoutAnEnd() {
+        ByteBuffer junk = bytes("x".repeat(16 << 10));
+        int reads = 0;
+        while (!reader.isExhausted()) {
+            reader.read(junk.rewind());
+            reads++;
+        }
+        assertEquals(16, reads);
+    }
+
     @Test
     void whatIsNoHeadTellsNothing() {
         reader.read(bytes("X-RateLimit-Wait-Ms: 600000\r\n\r\n"));
