Heads of responses: a 429 that is cut behind its status, or has many headers, tells so

Found on rereading: of a rejection whose connection ends within its status line nothing was known, though its status had been read, so that its destination was called at once; now its wait is presumed, as where the wait can't be read. Headers beyond the hundredth were dropped by the lenient reader, where the strict one accepts as many as 16 KiB hold; a head of 20 kB in short lines lost its wait. aStatusLineThatIsCutTellsItsStatus and manyHeadersDoNotHideTheWait failed by reading on (limit of 100, no status without a line end) and pass; classes of http pass.

--- a/src/main/java/elderseam/http/LenientHeadReader.java
+++ b/src/main/java/elderseam/http/LenientHeadReader.java
@@ -17,7 +17,7 @@
 final class LenientHeadReader {
     private static final int BYTE_MASK = 0xff;
     private static final int MAX_LINE_CHARACTERS = 1 << 10; // the rest of a longer line is dropped
-    private static final int MAX_HEADERS = 100;
+    private static final int MAX_HEADERS = 1_000; // more than the strict reader accepts
     private static final int MAX_BYTES = 256 << 10; // bounds what a connection costs that sends without an end
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9][0-9])");
 
@@ -65,8 +65,12 @@
         }
     }
 
-    /** No further bytes will be read. */
+    /** No further bytes will be read. A status line that was cut behind its status still tells that. */
     void end() {
+        if (statusCode == 0) {
+            statusCode = lastStatus(line.toString());
+            line.setLength(0);
+        }
         report(Extent.BROKEN_OFF);
         statusCode = 0;
     }
--- a/src/test/java/elderseam/http/LenientHeadReaderTest.java
+++ b/src/test/java/elderseam/http/LenientHeadReaderTest.java
@@ -58,6 +58,30 @@
         assertLatest(Extent.BROKEN_OFF, 429, "15");
     }
 
+    // Guards against issue 56: of a rejection that is cut behind its status nothing is known, not even that it is one.
+    @Test
+    void aStatusLineThatIsCutTellsItsStatus() {
+        reader.read(bytes("HTTP/1.1 429 Too M"));
+        assertEquals(List.of(), heads);
+        reader.end();
+        assertLatest(Extent.BROKEN_OFF, 429, "");
+    }
+
+    // Guards against issue 56: a wait behind more headers than the strict reader accepts is lost.
+    @Test
+    void manyHeadersDoNotHideTheWait() {
+        HttpResponseReader strict = new HttpResponseReader(100);
+        StringBuilder response = new StringBuilder("HTTP/1.1 429 x\r\n");
+        for (int i = 0; i < 900; i++) {
+            response.append("X-Number-").append(i).append(": 123456789\r\n");
+        }
+        ByteBuffer bytes = bytes(response + "X-RateLimit-Wait-Ms: 1500\r\n\r\n");
+        strict.read(bytes);
+        strict.continueLeniently(reader);
+        reader.read(bytes);
+        assertLatest(Extent.COMPLETE, 429, "1500");
+    }
+
     @Test
     void itStopsWhereAnEndpointSendsWithoutAnEnd() {
         ByteBuffer junk = bytes("x".repeat(16 << 10));
