--- a/src/main/java/elderseam/testkit/ordering/CopiedAnswers.java
+++ b/src/main/java/elderseam/testkit/ordering/CopiedAnswers.java
@@ -12,7 +12,7 @@
  * Thread-safe.
  */
 final class CopiedAnswers implements AutoCloseable {
-    private final OrderTrial.CopyFault fault;
+    private final CopyFault fault;
     private final SplittableRandom random;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "copied-answers");
@@ -21,7 +21,7 @@
     });
 
     /** {@code random}: used by many threads in an order of their own, under this object's lock. */
-    CopiedAnswers(OrderTrial.CopyFault fault, SplittableRandom random) {
+    CopiedAnswers(CopyFault fault, SplittableRandom random) {
         this.fault = fault;
         this.random = random;
     }
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -58,11 +58,11 @@
         double badAnswerRatio = random.nextInt(3) == 0 ? 0 : random.nextDouble() / 3;
         int notificationDelayMs = random.nextInt(1, 300);
         double refusedNotificationRatio = random.nextInt(2) == 0 ? 0 : random.nextDouble() / 2;
-        OrderTrial.CopyFault copies = copyFault(random);
+        CopyFault copies = copyFault(random);
         int unorderedClients = random.nextInt(MAX_UNORDERED_CLIENTS + 1);
         RejectionFault rejections = rejectionFault(random);
         int destinations = rejections.equals(RejectionFault.NONE) ? 1 : random.nextInt(1, 5);
-        OrderTrial.Surroundings surroundings = new OrderTrial.Surroundings(
+        TrialSurroundings surroundings = new TrialSurroundings(
                 endpoints * destinations,
                 minDelayMs,
                 maxDelayMs,
@@ -72,19 +72,19 @@
                 copies,
                 destinations,
                 rejections);
-        OrderTrial.Load load = new OrderTrial.Load(
-                keys, unorderedClients, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
+        TrialLoad load =
+                new TrialLoad(keys, unorderedClients, UNLIMITED, maxPauseMs, minRemainingMs, minRemainingMs + 3_000);
         return OrderTrial.play(folder, seed, load, surroundings, actions(seed));
     }
 
     /** Copied answers in two of three runs, from those that come at once to those that come seconds later. */
-    private static OrderTrial.CopyFault copyFault(SplittableRandom random) {
+    private static CopyFault copyFault(SplittableRandom random) {
         if (random.nextInt(3) == 0) {
-            return OrderTrial.CopyFault.NONE;
+            return CopyFault.NONE;
         }
         int minDelayMs = random.nextInt(MAX_COPY_DELAY_MS);
         int maxDelayMs = random.nextInt(minDelayMs, MAX_COPY_DELAY_MS + 1);
-        return new OrderTrial.CopyFault(random.nextDouble() / 2, minDelayMs, maxDelayMs, random.nextDouble() / 2);
+        return new CopyFault(random.nextDouble() / 2, minDelayMs, maxDelayMs, random.nextDouble() / 2);
     }
 
     /** Rejections with a wait in two of three runs, spoilt in all ways. */
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -55,59 +55,6 @@
         STEP_CLOCK_BY_SECONDS
     }
 
-    /**
-     * What clients hand in; every second client in a class that must not run twice.
-     *
-     * @param keys ordering keys, each with a client of its own
-     * @param unorderedClients clients of classes without order
-     * @param messagesPerClient at most, in the time that the actions take
-     * @param maxPauseMs between two messages of a client
-     * @param minRemainingMs the shortest time that a message has
-     */
-    public record Load(
-            int keys,
-            int unorderedClients,
-            int messagesPerClient,
-            int maxPauseMs,
-            int minRemainingMs,
-            int maxRemainingMs) {}
-
-    /**
-     * Answers of endpoints and the platform that come once more on their connection.
-     *
-     * @param ratio of the answers that are copied, 0 to 1
-     * @param minDelayMs the shortest time from an answer to its copy
-     * @param maxDelayMs the longest time from an answer to its copy
-     * @param cutRatio of the copies that break off at any byte, 0 to 1
-     */
-    public record CopyFault(double ratio, int minDelayMs, int maxDelayMs, double cutRatio) {
-        /** No copies. */
-        public static final CopyFault NONE = new CopyFault(0, 0, 0, 0);
-    }
-
-    /**
-     * How the others behave.
-     *
-     * @param endpoints of all destinations, which take turns in the list
-     * @param minDelayMs of an endpoint's answer
-     * @param badAnswerRatio calls that hang, break or fail
-     * @param notificationDelayMs the longest time to the answer to a notification
-     * @param refusedNotificationRatio calls with notifications that get 503
-     * @param copies answers that come twice
-     * @param destinations which clients call in turn; where there are several, the endpoints of each share a breaker
-     * @param rejections with a wait
-     */
-    public record Surroundings(
-            int endpoints,
-            int minDelayMs,
-            int maxDelayMs,
-            double badAnswerRatio,
-            int notificationDelayMs,
-            double refusedNotificationRatio,
-            CopyFault copies,
-            int destinations,
-            RejectionFault rejections) {}
-
     /**
      * What a run came to.
      *
@@ -143,7 +90,8 @@
     private final ProcessLog log;
     private ServedProcess process;
 
-    private OrderTrial(Path folder, long seed, Surroundings surroundings) throws IOException, InterruptedException {
+    private OrderTrial(Path folder, long seed, TrialSurroundings surroundings)
+            throws IOException, InterruptedException {
         this.random = new SplittableRandom(seed);
         log = new ProcessLog(folder.resolve("dispatcher.log"), start);
         open.add(log);
@@ -184,14 +132,14 @@
         clock.ifPresent(stepped -> variables.putAll(stepped.environment()));
     }
 
-    private CopiedAnswers startCopies(Surroundings surroundings, long seed) {
+    private CopiedAnswers startCopies(TrialSurroundings surroundings, long seed) {
         CopiedAnswers copies = new CopiedAnswers(surroundings.copies(), new SplittableRandom(seed));
         open.add(copies);
         return copies;
     }
 
     /** Starts the endpoints; the list that names them. */
-    private String startEndpoints(InetAddress address, Surroundings surroundings, CopiedAnswers copies)
+    private String startEndpoints(InetAddress address, TrialSurroundings surroundings, CopiedAnswers copies)
             throws IOException {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < surroundings.endpoints(); i++) {
@@ -226,7 +174,8 @@
      * @param folder an empty one, for state and log
      * @param actions carried out one after another while clients hand in messages
      */
-    public static Result play(Path folder, long seed, Load load, Surroundings surroundings, List<Action> actions)
+    public static Result play(
+            Path folder, long seed, TrialLoad load, TrialSurroundings surroundings, List<Action> actions)
             throws IOException, InterruptedException {
         try (OrderTrial trial = new OrderTrial(folder, seed, surroundings)) {
             trial.process = trial.startProcess();
@@ -248,7 +197,7 @@
         return ServedProcess.start(log, settingsFile, variables);
     }
 
-    private void startClients(Load load, int destinations) {
+    private void startClients(TrialLoad load, int destinations) {
         for (int i = 0; i < load.keys(); i++) {
             TrialClass messageClass = i % 2 == 0 ? TrialClass.ORDERED_ONCE : TrialClass.ORDERED_REPEATABLE;
             startClient("k" + i, messageClass, 1 + i % destinations, load);
@@ -259,7 +208,7 @@
         }
     }
 
-    private void startClient(String name, TrialClass messageClass, int destination, Load load) {
+    private void startClient(String name, TrialClass messageClass, int destination, TrialLoad load) {
         TrialClient client =
                 new TrialClient(name, messageClass, destination, dispatcherAddress, history, random.split(), load);
         clients.add(client);
@@ -336,7 +285,7 @@
     }
 
     /** Waits until the clients are through, and until all that was accepted is over. */
-    private void finish(Load load) throws InterruptedException {
+    private void finish(TrialLoad load) throws InterruptedException {
         for (Thread thread : clientThreads) {
             thread.join();
         }
--- a/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -40,7 +40,7 @@
             int breaker,
             OrderHistory history,
             SplittableRandom random,
-            OrderTrial.Surroundings surroundings,
+            TrialSurroundings surroundings,
             CopiedAnswers copies)
             throws IOException {
         this.breaker = breaker;
--- a/src/main/java/elderseam/testkit/ordering/TrialClient.java
+++ b/src/main/java/elderseam/testkit/ordering/TrialClient.java
@@ -22,7 +22,7 @@
     private final InetSocketAddress dispatcher;
     private final OrderHistory history;
     private final SplittableRandom random;
-    private final OrderTrial.Load load;
+    private final TrialLoad load;
     private HttpConnection connection; // null while there is none
     private int handedIn;
     private int refused;
@@ -35,7 +35,7 @@
             InetSocketAddress dispatcher,
             OrderHistory history,
             SplittableRandom random,
-            OrderTrial.Load load) {
+            TrialLoad load) {
         this.name = name;
         this.messageClass = messageClass;
         this.destination = destination;
--- a/src/test/java/elderseam/core/HandoverTest.java
+++ b/src/test/java/elderseam/core/HandoverTest.java
@@ -27,6 +27,16 @@
         harness = new DispatcherHarness(folder);
     }
 
+    /** Hands over to a new dispatcher, and returns it. */
+    private RequestDispatcher takeOver() throws IOException {
+        Handover.State state = harness.dispatcher.handover().transferTo(forwarded::add);
+        RequestDispatcher successor = harness.newDispatcher();
+        successor.handover().takeOver(state, attempt -> {});
+        DispatcherHarness.listEndpoint(successor, ListUpdateKind.CACHED);
+        successor.recover(() -> 0, () -> {});
+        return successor;
+    }
+
     /**
      * After a handover with attempts in flight, the successor completes each request once, by the outcomes that the
      * predecessor forwards.
@@ -71,11 +81,7 @@
     @Test
     void aWaitThatThePredecessorReadsBindsTheSuccessor() throws IOException {
         harness.submit("a");
-        Handover.State state = harness.dispatcher.handover().transferTo(forwarded::add);
-        RequestDispatcher successor = harness.newDispatcher();
-        successor.handover().takeOver(state, attempt -> {});
-        DispatcherHarness.listEndpoint(successor, ListUpdateKind.CACHED);
-        successor.recover(() -> 0, () -> {});
+        RequestDispatcher successor = takeOver();
         harness.dispatcher.endpointResponses().retryAfterReceived("h", 5_000 * Clock.MILLISECOND_NS, false);
         successor.handover().outcomeForwarded(forwarded.get(0));
         harness.dispatcher = successor;
@@ -87,11 +93,7 @@
     @Test
     void aWaitInAnOutcomeThatComesTooLateBindsTheSuccessor() throws IOException {
         harness.submit("a");
-        Handover.State state = harness.dispatcher.handover().transferTo(forwarded::add);
-        RequestDispatcher successor = harness.newDispatcher();
-        successor.handover().takeOver(state, attempt -> {});
-        DispatcherHarness.listEndpoint(successor, ListUpdateKind.CACHED);
-        successor.recover(() -> 0, () -> {});
+        RequestDispatcher successor = takeOver();
         successor.handover().predecessorExited();
         long waitNs = 5_000 * Clock.MILLISECOND_NS;
         harness.end(
--- a/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
+++ b/src/test/java/elderseam/testkit/ordering/OrderTrialTest.java
@@ -18,18 +18,17 @@
 
 /** Messages of an ordering key go out one at a time, in the order in which they were handed in. */
 class OrderTrialTest {
-    private static final OrderTrial.Load SIX_MESSAGES_OF_FOUR_KEYS = new OrderTrial.Load(4, 0, 6, 5, 8_000, 8_000);
-    private static final OrderTrial.Surroundings ONE_STEADY_ENDPOINT =
-            new OrderTrial.Surroundings(1, 150, 150, 0, 1, 0, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE);
+    private static final TrialLoad SIX_MESSAGES_OF_FOUR_KEYS = new TrialLoad(4, 0, 6, 5, 8_000, 8_000);
+    private static final TrialSurroundings ONE_STEADY_ENDPOINT =
+            new TrialSurroundings(1, 150, 150, 0, 1, 0, CopyFault.NONE, 1, RejectionFault.NONE);
 
-    private static final OrderTrial.Surroundings ONE_SLOW_ENDPOINT =
-            new OrderTrial.Surroundings(1, 500, 500, 0, 1, 0, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE);
+    private static final TrialSurroundings ONE_SLOW_ENDPOINT =
+            new TrialSurroundings(1, 500, 500, 0, 1, 0, CopyFault.NONE, 1, RejectionFault.NONE);
 
     @TempDir
     Path folder;
 
-    private void keepsOrder(
-            long seed, OrderTrial.Load load, OrderTrial.Surroundings surroundings, List<OrderTrial.Action> actions)
+    private void keepsOrder(long seed, TrialLoad load, TrialSurroundings surroundings, List<OrderTrial.Action> actions)
             throws Exception {
         OrderTrial.Result result = OrderTrial.play(folder, seed, load, surroundings, actions);
         System.out.println("seed " + seed + " " + actions + ": " + result);
@@ -53,9 +52,8 @@
     void underFaultsInSeries() throws Exception {
         keepsOrder(
                 3,
-                new OrderTrial.Load(8, 0, 100_000, 60, 1_000, 4_000),
-                new OrderTrial.Surroundings(
-                        2, 5, 120, 0.2, 200, 0.2, OrderTrial.CopyFault.NONE, 1, RejectionFault.NONE),
+                new TrialLoad(8, 0, 100_000, 60, 1_000, 4_000),
+                new TrialSurroundings(2, 5, 120, 0.2, 200, 0.2, CopyFault.NONE, 1, RejectionFault.NONE),
                 List.of(KILL, STEP_CLOCK_AHEAD, KILL, HAND_OVER, PAUSE, TERMINATE, STEP_CLOCK_BACK, HAND_OVER));
     }
 
--- a/src/test/java/elderseam/testkit/ordering/SpoiltRejectionsTest.java
+++ b/src/test/java/elderseam/testkit/ordering/SpoiltRejectionsTest.java
@@ -15,7 +15,7 @@
 @Timeout(SpoiltRejectionsTest.TIMEOUT_S)
 class SpoiltRejectionsTest {
     static final int TIMEOUT_S = 120;
-    private static final OrderTrial.Load LOAD = new OrderTrial.Load(0, 32, 24, 800, 1_000, 4_000);
+    private static final TrialLoad LOAD = new TrialLoad(0, 32, 24, 800, 1_000, 4_000);
     private static final int MIN_WAIT_MS = 1_500;
     private static final int MAX_WAIT_MS = 4_000;
 
@@ -39,8 +39,7 @@
         List<AnswerFault> faults =
                 Arrays.stream(names.split(" ")).map(AnswerFault::valueOf).toList();
         RejectionFault rejections = new RejectionFault(0.06, MIN_WAIT_MS, MAX_WAIT_MS, faults);
-        OrderTrial.Surroundings surroundings =
-                new OrderTrial.Surroundings(16, 20, 100, 0, 20, 0, OrderTrial.CopyFault.NONE, 8, rejections);
+        TrialSurroundings surroundings = new TrialSurroundings(16, 20, 100, 0, 20, 0, CopyFault.NONE, 8, rejections);
         OrderTrial.Result result = OrderTrial.play(folder, seed, LOAD, surroundings, List.of());
         long spoilt = result.waits().stream()
                 .filter(wait -> wait.fault() != AnswerFault.NONE)
