--- a/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
@@ -7,6 +7,8 @@
 import elderseam.http.ResponseHeadListener;
 import elderseam.policy.RetryAfterRules;
 import elderseam.policy.RetryAfterRules.Reading;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Reads the Retry-After of the platform's endpoints, which stands in X-RateLimit-Wait-Ms, from the heads of responses. It
@@ -19,6 +21,7 @@
 
     private static final int REJECTION_STATUS = 429;
     private static final String NO_WAIT = "0";
+    private static final Pattern LEADING_NUMBER = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     private final RetryAfterListener listener;
 
@@ -50,9 +53,10 @@
         };
     }
 
-    /** Returns the value of the header in nanoseconds; 0 if it is no number or negative. */
+    /** Returns the value of the header in nanoseconds, or the number that it begins with; 0 if it begins with none. */
     static long nanoseconds(String value) {
-        double milliseconds = parse(value);
+        double number = parse(value);
+        double milliseconds = Double.isNaN(number) ? leadingNumber(value) : number;
         return milliseconds > 0 ? (long) Math.min(RetryAfterRules.MAX_NS, milliseconds * Clock.MILLISECOND_NS) : 0;
     }
 
@@ -65,4 +69,9 @@
             return Double.NaN;
         }
     }
+
+    private static double leadingNumber(String text) {
+        Matcher number = LEADING_NUMBER.matcher(text);
+        return number.lookingAt() ? Double.parseDouble(number.group()) : 0;
+    }
 }
--- a/src/test/java/elderseam/frontend/platform/PlatformRetryAfterTest.java
+++ b/src/test/java/elderseam/frontend/platform/PlatformRetryAfterTest.java
@@ -21,6 +21,8 @@
         "429, -, COMPLETE, 0",
         "429, 1e300, COMPLETE, 600000",
         "429, 15x0, COMPLETE, 5000",
+        "429, 15812ms, COMPLETE, 15812",
+        "429, '7000, 7000', COMPLETE, 7000",
         "429, '', COMPLETE, 5000",
         "429, -, PARTIAL, 1000",
         "429, 15, PARTIAL, 1000",
