--- a/src/main/java/elderseam/testkit/ordering/HttpConnection.java
+++ b/src/main/java/elderseam/testkit/ordering/HttpConnection.java
@@ -100,30 +100,26 @@
     }
 
     void write(String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        write(bytes(text));
     }
 
-    /** Writes both in one write. */
-    void write(byte[] bytes, String text) throws IOException {
-        writeJoined(bytes, text.getBytes(StandardCharsets.UTF_8));
-    }
-
-    /** Writes both in one write. */
-    void write(String text, byte[] bytes) throws IOException {
-        writeJoined(text.getBytes(StandardCharsets.UTF_8), bytes);
-    }
-
-    private void writeJoined(byte[] first, byte[] second) throws IOException {
+    /** Writes all parts in one write. */
+    void write(byte[]... parts) throws IOException {
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
-        joined.writeBytes(first);
-        joined.writeBytes(second);
+        for (byte[] part : parts) {
+            joined.writeBytes(part);
+        }
         socket.getOutputStream().write(joined.toByteArray());
     }
 
+    /** The bytes of a text. */
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     /** The bytes of an answer. {@code headers}: each with its line end. */
     static String answer(int status, String headers, String body) {
-        return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: "
-                + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+        return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + bytes(body).length + "\r\n\r\n" + body;
     }
 
     /** Writes an answer, and a copy of it later where that fault is played. */
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -109,7 +109,7 @@
                 surroundings.refusedNotificationRatio(),
                 copies);
         open.add(platform);
-        String list = startEndpoints(own, surroundings, copies);
+        String list = startEndpoints(own, surroundings, copies, new SplittableRandom(~seed));
         platform.setList(list);
         settingsFile = folder.resolve("elderseam.ini");
         Files.writeString(settingsFile, "");
@@ -139,14 +139,16 @@
     }
 
     /** Starts the endpoints; the list that names them. */
-    private String startEndpoints(InetAddress address, TrialSurroundings surroundings, CopiedAnswers copies)
+    private String startEndpoints(
+            InetAddress address, TrialSurroundings surroundings, CopiedAnswers copies, SplittableRandom forRejections)
             throws IOException {
         List<String> entries = new ArrayList<>();
+        SpoiltRejections rejections = new SpoiltRejections(surroundings.rejections(), forRejections);
         for (int i = 0; i < surroundings.endpoints(); i++) {
             int destination = 1 + i % surroundings.destinations();
             int breaker = surroundings.destinations() > 1 ? destination : i;
             RecordingEndpoint endpoint =
-                    new RecordingEndpoint(address, breaker, history, random.split(), surroundings, copies);
+                    new RecordingEndpoint(address, breaker, history, random.split(), surroundings, copies, rejections);
             open.add(endpoint);
             entries.add(listEntry("s" + i, destination, endpoint.address()));
         }
--- a/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingEndpoint.java
@@ -41,7 +41,8 @@
             OrderHistory history,
             SplittableRandom random,
             TrialSurroundings surroundings,
-            CopiedAnswers copies)
+            CopiedAnswers copies,
+            SpoiltRejections rejections)
             throws IOException {
         this.breaker = breaker;
         this.history = history;
@@ -50,7 +51,7 @@
         this.maxDelayMs = surroundings.maxDelayMs();
         this.faultRatio = surroundings.badAnswerRatio();
         this.copies = copies;
-        this.rejections = new SpoiltRejections(surroundings.rejections(), random.split());
+        this.rejections = rejections;
         this.server = new LoopbackServer(address, this::serve);
     }
 
--- a/src/main/java/elderseam/testkit/ordering/SpoiltRejections.java
+++ b/src/main/java/elderseam/testkit/ordering/SpoiltRejections.java
@@ -73,8 +73,8 @@
             pause(REJECTION_DELAY_MS);
         }
         switch (rejection.fault()) {
-            case JUNK_BEHIND -> connection.write(whole, junk());
-            case JUNK_AHEAD -> connection.write(junk(), whole);
+            case JUNK_BEHIND -> connection.write(HttpConnection.bytes(whole), junk());
+            case JUNK_AHEAD -> connection.write(junk(), HttpConnection.bytes(whole));
             case COPY_BEHIND -> connection.write(whole + whole);
             case CONTINUE_AHEAD -> connection.write("HTTP/1.1 100 Continue\r\n\r\n" + whole);
             case BODY_CUT_BY_END, BODY_CUT_BY_RESET -> connection.write(STATUS_LINE + wait + CUT_BODY);
--- a/src/test/java/elderseam/testkit/ordering/SpoiltRejectionsTest.java
+++ b/src/test/java/elderseam/testkit/ordering/SpoiltRejectionsTest.java
@@ -22,8 +22,7 @@
     @TempDir
     Path folder;
 
-    // Guards against issue 56: the wait is discarded with an answer that is not believed, and its destination is
-    // called.
+    // Guards against issue 56: a wait is discarded with an answer that is not believed, and its destination called.
     @ParameterizedTest
     @CsvSource({
         "301, NONE",
