Heads of responses: one piece builds a head of which a part was read

The strict and the lenient reader each copied the headers, cut the unfinished line at its colon and added it; so they do by ResponseHead.unfinished and addHeader now. The reset of the lenient reader stood twice.

--- a/src/main/java/elderseam/http/HttpResponseReader.java
+++ b/src/main/java/elderseam/http/HttpResponseReader.java
@@ -90,14 +90,7 @@
             headTaken = true;
             return Optional.of(new ResponseHead(statusCode, headers, Extent.COMPLETE));
         }
-        Map<String, String> known = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        known.putAll(headers);
-        int colon = line.indexOf(":");
-        if (colon > 0) {
-            known.putIfAbsent(
-                    line.substring(0, colon), line.substring(colon + 1).strip());
-        }
-        return Optional.of(new ResponseHead(statusCode, known, unlessComplete));
+        return Optional.of(ResponseHead.unfinished(statusCode, headers, line, unlessComplete));
     }
 
     /** Makes another reader go on where this one found the head malformed. */
--- a/src/main/java/elderseam/http/LenientHeadReader.java
+++ b/src/main/java/elderseam/http/LenientHeadReader.java
@@ -78,13 +78,9 @@
     /** Reports the head that has begun, with the header that has no line end yet. */
     private void report(Extent extent) {
         reportedLines = lines;
-        if (statusCode == 0) {
-            return;
+        if (statusCode != 0) {
+            listener.accept(ResponseHead.unfinished(statusCode, headers, line, extent));
         }
-        Map<String, String> known = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        known.putAll(headers);
-        addHeader(line.toString(), known);
-        listener.accept(new ResponseHead(statusCode, known, extent));
     }
 
     private void readCharacter(char character) {
@@ -106,7 +102,7 @@
         } else if (Character.isWhitespace(text.charAt(0)) && !lastHeader.isEmpty()) {
             headers.merge(lastHeader, text.strip(), String::concat);
         } else if (headers.size() < MAX_HEADERS) {
-            lastHeader = addHeader(text, headers);
+            lastHeader = ResponseHead.addHeader(text, headers);
         }
     }
 
@@ -125,28 +121,19 @@
         line.setLength(0);
         end();
         reportedLines = 0;
-        statusCode = status;
-        headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        lastHeader = "";
+        startOver(status);
     }
 
     private void endHead() {
         if (statusCode != 0) {
             listener.accept(new ResponseHead(statusCode, headers, Extent.COMPLETE));
         }
-        statusCode = 0;
-        headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        lastHeader = "";
+        startOver(0);
     }
 
-    /** Adds a header unless it is there; returns its name, empty if the text is no header. */
-    private static String addHeader(String text, Map<String, String> target) {
-        int colon = text.indexOf(':');
-        if (colon < 1) {
-            return "";
-        }
-        String name = text.substring(0, colon).strip();
-        target.putIfAbsent(name, text.substring(colon + 1).strip());
-        return name;
+    private void startOver(int status) {
+        statusCode = status;
+        headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        lastHeader = "";
     }
 }
