Platform front end: numbers in headers are parsed in one place

PlatformRetryAfter parsed a finite number beside parseNumber of PlatformAttemptSender, which did the same for load reports. FiniteNumber serves both.

--- a/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformAttemptSender.java
@@ -283,11 +283,6 @@
 
     /** Parses a number in a response; 0 if it is malformed, negative or not finite. */
     private static double parseNumber(String text) {
-        try {
-            double value = text.isEmpty() ? 0 : Double.parseDouble(text);
-            return Double.isFinite(value) ? Math.max(0, value) : 0;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
+        return Math.max(0, FiniteNumber.parse(text).orElse(0));
     }
 }
--- a/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformRetryAfter.java
@@ -48,28 +48,17 @@
             case BROKEN_OFF -> Reading.UNREADABLE;
             case COMPLETE -> {
                 String value = head.headers().getOrDefault(HEADER, NO_WAIT);
-                yield Double.isNaN(parse(value)) ? Reading.UNREADABLE : Reading.EXACT;
+                yield FiniteNumber.parse(value).isPresent() ? Reading.EXACT : Reading.UNREADABLE;
             }
         };
     }
 
     /** Returns the value of the header in nanoseconds, or the number that it begins with; 0 if it begins with none. */
     static long nanoseconds(String value) {
-        double number = parse(value);
-        double milliseconds = Double.isNaN(number) ? leadingNumber(value) : number;
+        double milliseconds = FiniteNumber.parse(value).orElseGet(() -> leadingNumber(value));
         return milliseconds > 0 ? (long) Math.min(RetryAfterRules.MAX_NS, milliseconds * Clock.MILLISECOND_NS) : 0;
     }
 
-    /** Returns the number, or NaN if the text is none. */
-    private static double parse(String text) {
-        try {
-            double number = Double.parseDouble(text);
-            return Double.isInfinite(number) ? Double.NaN : number;
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
-
     private static double leadingNumber(String text) {
         Matcher number = LEADING_NUMBER.matcher(text);
         return number.lookingAt() ? Double.parseDouble(number.group()) : 0;
