--- a/src/test/java/elderseam/frontend/platform/DiscoveryWatcherTest.java
+++ b/src/test/java/elderseam/frontend/platform/DiscoveryWatcherTest.java
@@ -4,19 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import elderseam.core.BreakerListener;
 import elderseam.core.Clock;
-import elderseam.core.InMemoryJournalStore;
-import elderseam.core.Journal;
 import elderseam.core.JsonValue;
 import elderseam.core.RequestDispatcher;
-import elderseam.core.SettingsMap;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +23,6 @@
 /** Tests the watch of a discovery service whose responses are sent by the test. */
 class DiscoveryWatcherTest {
     private static final int TIMEOUT_S = 10;
-    private static final int MAX_BYTES = 1 << 16;
     private static final long IDLE_NS = 10_000 * Clock.MILLISECOND_NS;
     private static final String LIST =
             "{\"version\":41,\"full\":true,\"servers\":[{\"id\":\"h1\",\"addr\":\"127.0.0.1:1\","
@@ -40,41 +33,20 @@
     private record Call(String target, HttpServer.Answerer answerer) {}
 
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
-    private final Clock clock = new Clock();
     private final IoLoop io;
     private final EndpointList endpoints;
     private final DiscoveryWatcher watcher;
 
     DiscoveryWatcherTest() throws Exception {
-        io = new IoLoop(clock);
-        HttpServer discovery = new HttpServer(
-                io,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                MAX_BYTES,
-                8,
-                MAX_BYTES,
-                null,
-                (request, answerer) -> calls.add(new Call(request.target(), answerer)));
-        InetSocketAddress bound = discovery.address();
-        SettingsMap settings = new SettingsMap(Map.of(
-                "discovery", "ask",
-                "flavors", "k",
-                "localities", "z",
-                "extra.callSlots", "4",
-                "limits.mostHeld", "8",
-                "limits.maxAttempts", "3",
-                "services.count", "1",
-                "services.0.effect", "once",
-                "services.0.targetNs", "2000000000",
-                "services.0.giveUpNs", "9000000000"));
-        endpoints = new EndpointList(settings);
-        Journal journal = new Journal(new InMemoryJournalStore(), 1 << 20, clock);
-        RequestDispatcher dispatcher =
-                new RequestDispatcher(settings.toPolicySettings(), 1, journal, clock, io, BreakerListener.NONE);
+        io = new IoLoop(new Clock());
+        EndpointAddress address =
+                LoopbackDispatcher.serve(io, (request, answerer) -> calls.add(new Call(request.target(), answerer)));
+        endpoints = new EndpointList(LoopbackDispatcher.SETTINGS);
+        RequestDispatcher dispatcher = LoopbackDispatcher.create(io);
         watcher = new DiscoveryWatcher(
                 io,
-                new EndpointConnectionPool(io, IDLE_NS, 8, MAX_BYTES),
-                new EndpointAddress("", bound.getHostString() + ":" + bound.getPort()),
+                new EndpointConnectionPool(io, IDLE_NS, 8, LoopbackDispatcher.MAX_BYTES),
+                address,
                 endpoints,
                 dispatcher);
         dispatcher.onWatchRequested(watcher::watch);
--- a/src/test/java/elderseam/frontend/platform/NotificationSenderTest.java
+++ b/src/test/java/elderseam/frontend/platform/NotificationSenderTest.java
@@ -4,19 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import elderseam.core.ActiveRequest;
-import elderseam.core.BreakerListener;
 import elderseam.core.Clock;
 import elderseam.core.FinalOutcome;
-import elderseam.core.InMemoryJournalStore;
-import elderseam.core.Journal;
-import elderseam.core.RequestDispatcher;
-import elderseam.core.SettingsMap;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -28,7 +21,6 @@
 /** Tests notifications to a platform whose responses are sent by the test. */
 class NotificationSenderTest {
     private static final int TIMEOUT_S = 10;
-    private static final int MAX_BYTES = 1 << 16;
     private static final long LOST_AFTER_MS = 300;
     private static final long SECOND_NS = 1_000 * Clock.MILLISECOND_NS;
 
@@ -39,37 +31,16 @@
     private final NotificationSender sender;
 
     NotificationSenderTest() throws Exception {
-        Clock clock = new Clock();
-        io = new IoLoop(clock);
-        HttpServer platform = new HttpServer(
+        io = new IoLoop(new Clock());
+        EndpointAddress address = LoopbackDispatcher.serve(
                 io,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                MAX_BYTES,
-                8,
-                MAX_BYTES,
-                null,
                 (request, answerer) ->
                         calls.add(new Call(new String(request.body(), StandardCharsets.UTF_8), answerer)));
-        InetSocketAddress bound = platform.address();
-        EndpointAddress address = new EndpointAddress("", bound.getHostString() + ":" + bound.getPort());
-        Map<String, String> settings = Map.of(
-                "discovery", "ask",
-                "extra.callSlots", "4",
-                "limits.mostHeld", "8",
-                "limits.maxAttempts", "3",
-                "services.count", "1",
-                "services.0.effect", "once",
-                "services.0.targetNs", "2000000000",
-                "services.0.giveUpNs", "9000000000");
-        RequestDispatcher dispatcher = new RequestDispatcher(
-                new SettingsMap(settings).toPolicySettings(),
-                1,
-                new Journal(new InMemoryJournalStore(), 1 << 20, clock),
-                clock,
-                io,
-                BreakerListener.NONE);
         sender = new NotificationSender(
-                io, new EndpointConnectionPool(io, 10 * SECOND_NS, 8, MAX_BYTES), address, dispatcher);
+                io,
+                new EndpointConnectionPool(io, 10 * SECOND_NS, 8, LoopbackDispatcher.MAX_BYTES),
+                address,
+                LoopbackDispatcher.create(io));
     }
 
     private void onIoThread(Runnable task) throws Exception {
