Review, case 2: without its ACME authority a restarted process never answers events

A planned restart in the last third of the certificate's validity, while the authority is unreachable: the process orders before it serves the certificate that it has, so the listener for events never opens. An event that was accepted before the restart is delivered, and its sender is never answered.

--- a/review/lib/review/Cases.java
+++ b/review/lib/review/Cases.java
@@ -20,6 +20,7 @@
             try {
                 verdict = switch (words[0]) {
                     case "key-zone" -> KeyZoneCase.run(record, trouble, folder);
+                    case "certificate" -> CertificateCase.run(record, trouble, folder);
                     default -> throw new IllegalArgumentException(words[0]);
                 };
             } catch (IOException | RuntimeException e) {
