Review, case 1: events in flight are refused, and rent payments run twice

A partner hangs for 16 s while a batch of 60 rent payments is out; its sender gives up after 400 ms each time and asks again. After 17 questions the event front answers `refused` for all of them, since 1,000 events wait, without a look whether they are known. The sender hands them in at another dispatcher, as it may.

Ports are taken from below the system's range for outgoing connections.

--- a/review/lib/review/Cases.java
+++ b/review/lib/review/Cases.java
@@ -12,6 +12,9 @@
     private Cases() {}
 
     public static void main(String[] words) throws Exception {
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly)));
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path folder = Files.createTempDirectory("review");
         int verdict = 2;
@@ -19,8 +22,8 @@
             record.line("case     %s, %s", words[0], trouble ? "with its disruption" : "without its disruption");
             try {
                 verdict = switch (words[0]) {
-                    case "key-zone" -> KeyZoneCase.run(record, trouble, folder);
                     case "certificate" -> CertificateCase.run(record, trouble, folder);
+                    case "refused" -> RefusedCase.run(record, trouble, folder);
                     default -> throw new IllegalArgumentException(words[0]);
                 };
             } catch (IOException | RuntimeException e) {
--- a/review/lib/review/Dispatcher.java
+++ b/review/lib/review/Dispatcher.java
@@ -2,11 +2,13 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One dispatcher: its folder, addresses and process, which is started by the command of the deploy file. */
@@ -51,10 +53,17 @@
                         + limits + ",\"known\":" + known + ",\"settings\":" + settings + "}");
     }
 
+    /** A free port below those that the system gives to outgoing connections, which might take it meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < 100; tries++) {
+            int port = 20_000 + ThreadLocalRandom.current().nextInt(12_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // taken
+            }
         }
+        throw new IOException("no free port");
     }
 
     Path folder() {
