Review, case 2: a restarted member of a fleet goes back to an old endpoint list

Three dispatchers of which one watches discovery for all; two of them are killed and start again 0.6 s later, while an endpoint is replaced and another partner's endpoint gets its address. Each restarted one is told the new list, then takes the one from before the kill out of its own lease log as fresh, and sends rent payments to the other partner, which runs them.

--- a/review/lib/review/Cases.java
+++ b/review/lib/review/Cases.java
@@ -24,6 +24,7 @@
                 verdict = switch (words[0]) {
                     case "certificate" -> CertificateCase.run(record, trouble, folder);
                     case "refused" -> RefusedCase.run(record, trouble, folder);
+                    case "stale-list" -> StaleListCase.run(record, trouble, folder);
                     default -> throw new IllegalArgumentException(words[0]);
                 };
             } catch (IOException | RuntimeException e) {
