Review, case 1: one client of a hundred is impatient, and the partner gets a small share

The site file has up to 1% impatient clients, and a hang strikes partners with up to 24% of the traffic. So 99 usual clients hand in 40 messages a second for another partner beside the case, at both dispatchers.

--- a/review/lib/review/RefusedCase.java
+++ b/review/lib/review/RefusedCase.java
@@ -24,6 +24,8 @@
     private static final long HANG_MS = 16_000; // from the first call on
     private static final int PATIENCE_MS = 400;
     private static final long AGAIN_MS = 310; // from giving up to asking again
+    private static final int PATIENT_CLIENTS = 99; // so that one client of a hundred is impatient
+    private static final long PATIENT_INTERVAL_MS = 2_475; // 40 messages a second in all
     private static final Pattern RESULT = Pattern.compile("\"id\":\"([^\"]+)\",\"status\":\"([a-z]+)\"");
 
     private final Record record;
@@ -43,13 +45,19 @@
 
     private int run(Path folder) throws Exception {
         String settings = Settings.of(
-                        2, "\"wdh-1\"", Settings.service("rent-payment", "once", "all", 2_000, DEADLINE_MS, 5_000))
+                        2,
+                        "\"wdh-1\"",
+                        Settings.service("rent-payment", "once", "all", 2_000, DEADLINE_MS, 5_000) + ","
+                                + PatientClients.service())
                 .replace("\"callSlots\":32", "\"callSlots\":42")
                 .replace("\"mostHeld\":64", "\"mostHeld\":175");
         List<String> events = List.of("127.0.0.1:" + Dispatcher.freePort(), "127.0.0.1:" + Dispatcher.freePort());
         try (Platform platform = new Platform(record);
-                Http.Server endpoint = new Http.Server(0, this::receive)) {
-            platform.list(Platform.entry("s-1", endpoint.address(), "wdh-1", "bank", 7));
+                Http.Server endpoint = new Http.Server(0, this::receive);
+                Http.Server usual = PatientClients.endpoint()) {
+            platform.list(
+                    Platform.entry("s-1", endpoint.address(), "wdh-1", "bank", 7),
+                    Platform.entry("s-2", usual.address(), "wdh-1", "bank", 8).replace("20.0", "60.0"));
             List<Dispatcher> dispatchers = new ArrayList<>();
             try {
                 for (int i = 0; i < 2; i++) {
@@ -70,7 +78,11 @@
                 for (Dispatcher dispatcher : dispatchers) {
                     dispatcher.awaitReady();
                 }
-                return run(events.get(0), events.get(1));
+                PatientClients patient = new PatientClients(dispatchers, PATIENT_CLIENTS, PATIENT_INTERVAL_MS);
+                Thread.sleep(1_000);
+                int verdict = run(events.get(0), events.get(1));
+                record.line("usual    %s", patient.end());
+                return verdict;
             } finally {
                 dispatchers.forEach(Dispatcher::close);
             }
