Review, case 3: the partner is slow for 10 s and gets a small share of the traffic

So its calls are slow for 10 s from the first one on, and 20 usual clients hand in 10 messages a second for another partner beside the case.

--- a/review/lib/review/CertificateCase.java
+++ b/review/lib/review/CertificateCase.java
@@ -12,6 +12,7 @@
 import java.security.cert.CertificateFactory;
 import java.security.cert.X509Certificate;
 import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLSocket;
@@ -29,13 +30,16 @@
     private static final long TERM_AFTER_MS = 1_000; // after the event
     private static final long DEADLINE_MS = 28_000; // of the class
     private static final long SLACK_MS = 550; // half a second, and the 50 ms of sockets
-    private static final long WORK_MS = 9_000;
+    private static final long WORK_MS = 9_000; // of a call that comes while the partner is slow
+    private static final long USUAL_WORK_MS = 400;
+    private static final long SLOW_MS = 10_000; // from the first call on
     private static final long RETRY_MS = 500;
 
     private final Record record;
     private final boolean trouble;
     private final Path folder;
     private final AtomicInteger runs = new AtomicInteger();
+    private volatile long slowUntilMs;
     private Process authority;
     private String eventsAddress;
     private SSLContext trust;
@@ -69,10 +73,16 @@
                         + authorityPort + "/directory\nnames = localhost\nfolder = " + folder.resolve("certificates")
                         + "\nchallenges = 127.0.0.1:" + challengePort + "\n");
         String settings = Settings.of(
-                1, "\"z\"", Settings.service("job-order", "by_key", "all", 3_000, DEADLINE_MS, 7_500));
+                1,
+                "\"z\"",
+                Settings.service("job-order", "by_key", "all", 3_000, DEADLINE_MS, 7_500) + ","
+                        + PatientClients.service());
         try (Platform platform = new Platform(record);
-                Http.Server endpoint = new Http.Server(0, this::receive)) {
-            platform.list(Platform.entry("s-1", endpoint.address(), "z", "bank", 7));
+                Http.Server endpoint = new Http.Server(0, this::receive);
+                Http.Server usual = PatientClients.endpoint()) {
+            platform.list(
+                    Platform.entry("s-1", endpoint.address(), "z", "bank", 7),
+                    Platform.entry("s-2", usual.address(), "z", "bank", 8));
             try (Dispatcher dispatcher = new Dispatcher(
                     record,
                     "n1",
@@ -84,7 +94,10 @@
                     settingsFile.toString())) {
                 dispatcher.start();
                 dispatcher.awaitReady();
-                return run(dispatcher);
+                PatientClients patient = new PatientClients(List.of(dispatcher), 20, 2_000);
+                int verdict = run(dispatcher);
+                record.line("usual    %s", patient.end());
+                return verdict;
             }
         }
     }
@@ -236,14 +249,17 @@
         }
     }
 
-    /** An endpoint that is slow, within the pages' figures: a job-order of 320 to 560 ms takes 5.6 to 25 times as long. */
+    /** An endpoint that is slow for a while, within the pages' figures: a job-order of 320 to 560 ms takes 16 to 25 times as long. */
     private String receive(Http.Message request, Socket connection) throws Exception {
         if (!request.start().startsWith("POST /events ")) {
             return Http.response(404, "", "");
         }
         int run = runs.incrementAndGet();
         record.line("call     %d of event %s %s arrives", run, request.header("ce-source"), request.header("ce-id"));
-        Thread.sleep(WORK_MS);
+        if (run == 1) {
+            slowUntilMs = record.ms() + SLOW_MS;
+        }
+        Thread.sleep(record.ms() < slowUntilMs ? WORK_MS : USUAL_WORK_MS);
         record.line("call     %d is answered 200", run);
         return Http.response(200, "", "");
     }
