--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac --release 17 -cp "target/classes:target/lib/*" -d target/review review/lib/review/*.java
+for folder in review/lib/*; do
+    javac --release 17 -d target/review "$folder"/*.java
+done
--- a/review/lib/review/Dispatcher.java
+++ b/review/lib/review/Dispatcher.java
@@ -1,179 +1,140 @@
 package review;
 
-import java.io.File;
+import java.io.Closeable;
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
-/** Starts processes of one dispatcher by the deploy file's {@code run}, and does to them what the platform does. */
-final class Dispatcher {
-    /** One process. */
-    final class Run {
-        final int number;
-        final Process process;
-        final double startedAt = Record.now();
-        private final String control;
-        private final Path log;
-
-        private Run(int number, Process process, String control, Path log) {
-            this.number = number;
-            this.process = process;
-            this.control = control;
-            this.log = log;
-        }
-
-        /** Waits until it says yes to PING. */
-        void awaitYes(double limitMs) throws IOException, InterruptedException {
-            double end = Record.now() + limitMs;
-            while (!control("PING").startsWith("200")) {
-                if (Record.now() > end || !process.isAlive()) {
-                    throw new IOException("process " + number + " did not say yes");
-                }
-                Thread.sleep(10);
-            }
-            record.line("process %d says yes, %.0f ms after its start", number, Record.now() - startedAt);
-        }
-
-        /** Waits for a line of its log that holds these words. */
-        void awaitLog(String words, double limitMs) throws IOException, InterruptedException {
-            double end = Record.now() + limitMs;
-            while (!Files.readString(log).contains(words)) {
-                if (Record.now() > end || !process.isAlive()) {
-                    throw new IOException("process " + number + " did not log " + words);
-                }
-                Thread.sleep(5);
-            }
-        }
-
-        private String control(String line) {
-            try (Socket socket = new Socket()) {
-                socket.connect(Http.socketAddress(control), 500);
-                socket.setSoTimeout(1_000);
-                socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            } catch (IOException e) {
-                return "";
-            }
-        }
-
-        /** Sends a signal by its name without SIG. */
-        void signal(String name) throws IOException, InterruptedException {
-            record.line("SIG%s to process %d", name, number);
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        }
-
-        /** SIGTERM, and SIGKILL 3.7 s later if it is still there. */
-        void terminate() throws IOException, InterruptedException {
-            signal("TERM");
-            Http.thread(() -> {
-                try {
-                    if (process.waitFor(3_700, TimeUnit.MILLISECONDS)) {
-                        record.line("process %d has ended with %d", number, process.exitValue());
-                    } else {
-                        record.line("SIGKILL to process %d", number);
-                        process.destroyForcibly();
-                    }
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-        }
-    }
-
-    private final Path folder;
-    private final Path settingsFile;
+/** One dispatcher: its folder, addresses and process, which is started by the command of the deploy file. */
+final class Dispatcher implements Closeable {
     private final Record record;
-    private final boolean oneCore;
-    private final String listenAddress;
-    private final List<Run> runs = new ArrayList<>();
-
-    /** All processes run on one core, as the deploy page has it, but where taskset is missing. */
-    Dispatcher(Path folder, Path settingsFile, Record record) throws IOException {
-        this.folder = folder;
-        this.settingsFile = settingsFile;
+    private final String name;
+    private final Path folder;
+    private final String settingsFile;
+    private Process process;
+
+    /** The address for clients. */
+    final String address;
+
+    /**
+     * Writes its configuration.
+     *
+     * @param settings the object {@code settings} of the configuration
+     * @param known the list as this dispatcher last had it
+     * @param settingsFile the operator's settings file; empty for deploy/elderseam.ini
+     */
+    Dispatcher(
+            Record record,
+            String name,
+            Path parent,
+            String discovery,
+            String settings,
+            String known,
+            String limits,
+            String settingsFile)
+            throws IOException {
         this.record = record;
-        this.oneCore = hasTaskset();
-        this.listenAddress = "127.0.0.1:" + Http.freePort();
-        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
-    }
-
-    private static boolean hasTaskset() {
-        return List.of("/usr/bin/taskset", "/bin/taskset").stream().anyMatch(path -> new File(path).canExecute());
+        this.name = name;
+        this.settingsFile = settingsFile;
+        this.address = "127.0.0.1:" + freePort();
+        this.folder = Files.createDirectories(parent.resolve(name));
+        Files.createDirectories(folder.resolve("state"));
+        Files.createDirectories(folder.resolve("tmp"));
+        Files.writeString(
+                folder.resolve("config.json"),
+                "{\"name\":\"" + name + "\",\"listen\":\"" + address + "\",\"discovery\":\"" + discovery
+                        + "\",\"seed\":\"" + Long.toHexString(new java.util.Random().nextLong()) + "\",\"limits\":"
+                        + limits + ",\"known\":" + known + ",\"settings\":" + settings + "}");
     }
 
-    String listenAddress() {
-        return listenAddress;
+    /** A free port below those that the system gives to outgoing connections, which might take it meanwhile. */
+    static int freePort() throws IOException {
+        for (int tries = 0; tries < 100; tries++) {
+            int port = 20_000 + ThreadLocalRandom.current().nextInt(12_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // taken
+            }
+        }
+        throw new IOException("no free port");
     }
 
-    /** Writes the configuration, replacing it whole. */
-    void configure(Platform platform) throws IOException {
-        String text = "{\"name\":\"n1\",\"listen\":\"" + listenAddress + "\",\"discovery\":\"" + platform.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\n\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3},\n"
-                + "\"known\":" + platform.list() + ",\n\"settings\":" + Settings.platform() + "}\n";
-        Path written = Files.writeString(folder.resolve("config.new"), text);
-        Files.move(written, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
+    Path folder() {
+        return folder;
     }
 
-    /** Starts a process; a second one takes over from the first. */
-    Run start(Platform platform) throws IOException {
-        int number = runs.size() + 1;
-        String control = "127.0.0.1:" + Http.freePort();
-        List<String> command = new ArrayList<>(oneCore ? List.of("taskset", "-c", Integer.toString(firstCore())) : List.of());
-        command.addAll(List.of("/bin/sh", "-c", deployCommand() + " " + settingsFile));
-        Path log = folder.resolve("log" + number);
-        ProcessBuilder builder = new ProcessBuilder(command);
+    /** Starts a process by the deploy file's {@code run}, from the root of the repository. */
+    void start() throws IOException {
+        ProcessBuilder builder =
+                new ProcessBuilder("/bin/sh", "-c", ("exec sh deploy/serve.sh " + settingsFile).strip());
         Map<String, String> environment = builder.environment();
-        environment.put("RELAY_NAME", "n1");
-        environment.put("RELAY_LISTEN", listenAddress);
-        environment.put("RELAY_DISCOVERY", platform.address());
+        environment.put("RELAY_NAME", name);
+        environment.put("RELAY_LISTEN", address);
+        String config = Files.readString(folder.resolve("config.json"));
+        environment.put("RELAY_DISCOVERY", config.replaceFirst(".*?\"discovery\":\"([^\"]*)\"(?s).*", "$1"));
         environment.put("RELAY_STATE", folder.resolve("state").toString());
         environment.put("RELAY_CONFIG", folder.resolve("config.json").toString());
-        environment.put("RELAY_CONTROL", control);
-        Process process =
-                builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-        record.line("process %d is started%s", number, oneCore ? ", on one core" : "");
-        Run run = new Run(number, process, control, log);
-        runs.add(run);
-        return run;
+        environment.put("TMPDIR", folder.resolve("tmp").toString());
+        builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve("log.txt").toFile()));
+        process = builder.start();
+        process.getOutputStream().close();
+        record.line("process  %s started", name);
     }
 
-    /** The last core that this process may use. */
-    private static int firstCore() throws IOException {
-        String allowed = Files.readAllLines(Path.of("/proc/self/status")).stream()
-                .filter(line -> line.startsWith("Cpus_allowed_list:"))
-                .findFirst()
-                .orElse("Cpus_allowed_list: 0");
-        String[] numbers = allowed.split("[^0-9]+");
-        return Integer.parseInt(numbers[numbers.length - 1]);
+    /** Waits until it answers 200 to the readiness check. */
+    void awaitReady() throws IOException, InterruptedException {
+        for (int i = 0; i < 600; i++) {
+            Http.Message ready = Http.call(address, "GET /health/ready HTTP/1.1\r\n", new byte[0], 500);
+            if (ready != null && ready.code() == 200) {
+                record.line("process  %s ready", name);
+                return;
+            }
+            if (!process.isAlive()) {
+                break;
+            }
+            Thread.sleep(50);
+        }
+        throw new IOException(name + " does not get ready:\n" + Files.readString(folder.resolve("log.txt")));
     }
 
-    /** What {@code run} says in the deploy file. */
-    private static String deployCommand() throws IOException {
-        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = "))
-                .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
-                .findFirst()
-                .orElseThrow();
+    /** SIGKILL. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+        record.line("process  %s killed by SIGKILL", name);
     }
 
-    /** Copies the logs of the processes to the record. */
-    void recordLogs() throws IOException {
-        for (Run run : runs) {
-            for (String line : Files.readAllLines(run.log)) {
-                record.line("log of process %d: %s", run.number, line);
-            }
+    /** SIGTERM, then SIGKILL 3.7 s later if it still runs. */
+    void terminate() throws InterruptedException {
+        record.line("process  %s gets SIGTERM", name);
+        process.destroy();
+        boolean ended = process.waitFor(3_700, TimeUnit.MILLISECONDS);
+        if (!ended) {
+            process.destroyForcibly().waitFor();
         }
+        record.line("process  %s has ended%s", name, ended ? " by itself" : " by SIGKILL");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
     }
 
-    /** Ends all processes, and waits until they have ended. */
-    void killAll() {
-        runs.forEach(run -> run.process.destroyForcibly().onExit().join());
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly().onExit().join();
+        }
     }
 }
--- a/review/lib/review/Http.java
+++ b/review/lib/review/Http.java
@@ -1,5 +1,9 @@
 package review;
 
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -12,141 +16,148 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The little HTTP/1.1 that the stand-ins and clients need, on blocking sockets. */
+/** A small HTTP/1.1 server and client on loopback sockets, one thread for each connection. */
 final class Http {
-    /** A request or response: its first line, headers and body, and when its last byte was read. */
-    static final class Message {
-        String firstLine;
-        final Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        String body;
-        double completeAt;
-
-        int status() {
-            return Integer.parseInt(firstLine.split(" ")[1]);
+    /** A request, or the response to one; {@code start} is its first line. */
+    record Message(String start, Map<String, String> headers, byte[] body) {
+        String header(String name) {
+            return headers.getOrDefault(name, "");
+        }
+
+        String path() {
+            return start.split(" ")[1];
+        }
+
+        int code() {
+            return Integer.parseInt(start.split(" ")[1]);
+        }
+
+        String text() {
+            return new String(body, StandardCharsets.UTF_8);
         }
     }
 
-    /** Answers the requests of one connection, one after the other. */
+    /** Answers a request: the whole response, or null to end the connection without one. */
     interface Handler {
-        /** Returns the response, or null to write none and keep the connection. May block. */
-        String answer(Message request, Socket socket) throws IOException, InterruptedException;
+        String answer(Message request, Socket connection) throws Exception;
     }
 
-    /** A server on a free port of the loopback interface, with a thread for each connection. */
-    static final class Server {
-        final ServerSocket listener;
-        private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    /** A server on a free port, or on the given one. */
+    static final class Server implements Closeable {
+        private final ServerSocket listener;
+        private final Handler handler;
+        private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+        Server(int port, Handler handler) throws IOException {
+            this.handler = handler;
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 256);
+            start(this::accept);
+        }
 
-        Server(Handler handler) throws IOException {
-            listener = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
-            thread(() -> {
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        private void accept() {
+            try {
                 while (true) {
-                    Socket socket;
-                    try {
-                        socket = listener.accept();
-                    } catch (IOException e) {
-                        return;
-                    }
-                    sockets.add(socket);
-                    thread(() -> serve(socket, handler));
+                    Socket connection = listener.accept();
+                    connection.setTcpNoDelay(true);
+                    connections.add(connection);
+                    start(() -> serve(connection));
                 }
-            });
+            } catch (IOException e) {
+                // closed
+            }
         }
 
-        private void serve(Socket socket, Handler handler) {
-            try (socket) {
-                socket.setTcpNoDelay(true);
-                for (Message request = read(socket.getInputStream());
-                        request != null;
-                        request = read(socket.getInputStream())) {
-                    String answer = handler.answer(request, socket);
-                    if (answer != null) {
-                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+        private void serve(Socket connection) {
+            try (connection) {
+                InputStream in = new BufferedInputStream(connection.getInputStream());
+                for (Message request = read(in); request != null; request = read(in)) {
+                    String answer = handler.answer(request, connection);
+                    if (answer == null) {
+                        return;
                     }
+                    connection.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                    connection.getOutputStream().flush();
                 }
-            } catch (IOException | InterruptedException e) {
-                // the peer has gone
+            } catch (Exception e) {
+                // the other side has gone
+            } finally {
+                connections.remove(connection);
             }
-            sockets.remove(socket);
         }
 
-        String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        /** Accepts no new connections. */
-        void stopAccepting() throws IOException {
+        @Override
+        public void close() throws IOException {
             listener.close();
-        }
-
-        /** Closes the open connections. */
-        void closeConnections() {
-            for (Socket socket : sockets) {
-                try {
-                    socket.close();
-                } catch (IOException e) {
-                    // closed already
-                }
+            for (Socket connection : connections) {
+                connection.close();
             }
         }
     }
 
     private Http() {}
 
-    static void thread(Runnable task) {
-        Thread thread = new Thread(null, task, "stand-in", 256 << 10);
+    static void start(Runnable task) {
+        Thread thread = new Thread(task);
         thread.setDaemon(true);
         thread.start();
     }
 
-    static InetSocketAddress socketAddress(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    static String response(int code, String headers, String body) {
+        return "HTTP/1.1 " + code + " x\r\n" + headers + "Content-Length: "
+                + body.getBytes(StandardCharsets.ISO_8859_1).length + "\r\n\r\n" + body;
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** Sends a request on a connection of its own; the response, or null if none came in time. */
+    static Message call(String address, String head, byte[] body, int timeoutMs) {
+        String[] parts = address.split(":");
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])), timeoutMs);
+            socket.setSoTimeout(timeoutMs);
+            socket.setTcpNoDelay(true);
+            ByteArrayOutputStream request = new ByteArrayOutputStream();
+            request.writeBytes((head + "Host: api.internal\r\nContent-Length: " + body.length + "\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            request.writeBytes(body);
+            socket.getOutputStream().write(request.toByteArray());
+            return read(new BufferedInputStream(socket.getInputStream()));
+        } catch (IOException e) {
+            return null;
         }
     }
 
-    static String response(String status, String headers, String body) {
-        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
-    /** Reads a message; null at the end of the stream. */
+    /** Reads a request or a response; null at the end of the stream before its first byte. */
     static Message read(InputStream in) throws IOException {
-        Message message = new Message();
-        message.firstLine = line(in);
-        if (message.firstLine == null) {
+        String start = line(in);
+        if (start == null) {
             return null;
         }
-        for (String line = line(in); line == null || !line.isEmpty(); line = line(in)) {
-            if (line == null) {
-                return null;
-            }
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String line = line(in); !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
-            message.headers.put(line.substring(0, colon).strip(), line.substring(colon + 1).strip());
+            headers.put(line.substring(0, colon).strip(), line.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(message.headers.getOrDefault("Content-Length", "0"));
-        byte[] body = in.readNBytes(length);
-        if (body.length < length) {
-            return null;
-        }
-        message.body = new String(body, StandardCharsets.UTF_8);
-        message.completeAt = Record.now();
-        return message;
+        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("Content-Length", "0")));
+        return new Message(start, headers, body);
     }
 
     private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int next = in.read(); next != '\n'; next = in.read()) {
             if (next < 0) {
-                return null;
+                if (line.size() == 0) {
+                    return null;
+                }
+                throw new EOFException();
             }
-            line.append((char) next);
+            line.write(next);
         }
-        int length = line.length();
-        return length > 0 && line.charAt(length - 1) == '\r' ? line.substring(0, length - 1) : line.toString();
+        String text = line.toString(StandardCharsets.ISO_8859_1);
+        return text.endsWith("\r") ? text.substring(0, text.length() - 1) : text;
     }
 }
--- a/review/lib/review/Platform.java
+++ b/review/lib/review/Platform.java
@@ -1,92 +1,80 @@
 package review;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/**
- * Discovery and the receiver of notices at one address. The list never changes in these cases: a watch waits for as long as
- * it says and is answered with no entries. Notices are answered with 204 at once.
- */
-final class Platform {
-    private static final Pattern WATCH = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
-    private static final Pattern NOTICE = Pattern.compile("\"id\":\"([^\"]*)\",\"status\":\"([^\"]*)\"");
-    private static final int VERSION = 41;
+/** The platform of PROTOCOL: discovery with its watches, and notices. Thread-safe. */
+final class Platform implements Closeable {
+    private static final Pattern AFTER = Pattern.compile("after=(\\d+)&wait_ms=(\\d+)");
+    private static final Pattern NOTICE = Pattern.compile("\"id\":\"([^\"]+)\",\"status\":\"([a-z]+)\"");
 
-    private final Http.Server server;
-    private final String name;
-    private final List<Partner> partners;
     private final Record record;
+    private final Http.Server server;
+    private String entries = "";
+    private int version = 1;
 
-    /** When the first notice of each message came, by its id; shared by the platform's addresses. */
-    private final Map<String, Double> noticedAt;
+    /** The latest notice of each message: {@code undeliverable} or {@code deferred}. */
+    final Map<String, String> notices = new ConcurrentHashMap<>();
 
-    Platform(String name, List<Partner> partners, Map<String, Double> noticedAt, Record record) throws IOException {
-        this.name = name;
-        this.partners = partners;
-        this.noticedAt = noticedAt;
+    Platform(Record record) throws IOException {
         this.record = record;
-        this.server = new Http.Server(this::answer);
-    }
-
-    static Map<String, Double> notices() {
-        return new ConcurrentHashMap<>();
+        this.server = new Http.Server(0, this::answer);
     }
 
     String address() {
         return server.address();
     }
 
-    /** The whole list, as a dispatcher's configuration has it too. */
-    String list() {
-        List<String> entries = new ArrayList<>();
-        partners.forEach(partner -> entries.add(partner.listEntry()));
-        return "{\"version\":" + VERSION + ",\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+    /** An entry of the list. */
+    static String entry(String id, String address, String zone, String kind, long cell) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind
+                + "\",\"cell\":" + cell + ",\"state\":\"SERVING\",\"weight\":20.0,\"started_ms\":0}";
     }
 
-    /** As after a move of discovery: no new connections; the open ones are closed after 1.5 s. */
-    void moveAway() throws IOException {
-        record.line("platform %s at %s accepts no new connections", name, address());
-        server.stopAccepting();
-        Http.thread(() -> {
-            pause(1_500);
-            server.closeConnections();
-            record.line("platform %s has closed its open connections", name);
-        });
+    /** Replaces the list. */
+    synchronized void list(String... listed) {
+        entries = String.join(",", listed);
+        version++;
+        notifyAll();
     }
 
-    static void pause(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    /** The whole list, as in the configuration. */
+    synchronized String list() {
+        return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + entries + "]}";
     }
 
-    private String answer(Http.Message request, Socket socket) throws InterruptedException {
-        if (request.firstLine.startsWith("POST /status")) {
-            request.body.lines().forEach(this::notice);
-            return "HTTP/1.1 204 No Content\r\n\r\n";
+    private String answer(Http.Message request, Socket connection) throws InterruptedException {
+        if (request.start().startsWith("POST /status")) {
+            Matcher notice = NOTICE.matcher(request.text());
+            while (notice.find()) {
+                record.line("notice   %s %s", notice.group(1), notice.group(2));
+                notices.put(notice.group(1), notice.group(2));
+            }
+            return "HTTP/1.1 204 x\r\n\r\n";
         }
-        Matcher watch = WATCH.matcher(request.firstLine);
-        if (!watch.find()) {
-            record.line("platform %s: the whole list is asked for", name);
-            return Http.response("200 OK", "", list());
+        Matcher watch = AFTER.matcher(request.path());
+        if (watch.find()) {
+            return watch(Integer.parseInt(watch.group(1)), Long.parseLong(watch.group(2)));
         }
-        Thread.sleep(Long.parseLong(watch.group(2)));
-        return Http.response("200 OK", "", "{\"version\":" + VERSION + ",\"full\":false,\"servers\":[]}");
+        return Http.response(200, "", list());
     }
 
-    private void notice(String line) {
-        Matcher notice = NOTICE.matcher(line);
-        if (notice.find()) {
-            record.line("platform %s: notice %s", name, line);
-            noticedAt.putIfAbsent(notice.group(1), Record.now());
+    private synchronized String watch(int after, long waitMs) throws InterruptedException {
+        long endNs = System.nanoTime() + waitMs * 1_000_000;
+        while (version <= after && System.nanoTime() < endNs) {
+            wait(Math.max(1, (endNs - System.nanoTime()) / 1_000_000));
         }
+        String unchanged = "{\"version\":" + version + ",\"full\":false,\"servers\":[]}";
+        return Http.response(200, "", version <= after ? unchanged : list());
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
     }
 }
--- a/review/lib/review/Record.java
+++ b/review/lib/review/Record.java
@@ -5,27 +5,25 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Locale;
 
-/** The record of a run: one line for each thing that was sent, answered or run, with milliseconds since its start. */
+/** The record of a case: what was sent, answered and run, with milliseconds since its start. Thread-safe. */
 final class Record implements AutoCloseable {
-    private static final long START_NS = System.nanoTime();
-
     private final PrintWriter out;
+    private final long startNs = System.nanoTime();
 
     Record(Path file) throws IOException {
-        out = new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.UTF_8));
+        out = new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.UTF_8), true);
     }
 
     /** Milliseconds since the start. */
-    static double now() {
-        return (System.nanoTime() - START_NS) / 1e6;
+    long ms() {
+        return (System.nanoTime() - startNs) / 1_000_000;
     }
 
-    /** Writes a line. */
-    synchronized void line(String format, Object... values) {
-        out.printf(Locale.ROOT, "%9.1f  %s%n", now(), String.format(Locale.ROOT, format, values));
-        out.flush();
+    synchronized void line(String format, Object... arguments) {
+        String text = String.format("%7d ms  ", ms()) + String.format(format, arguments);
+        out.println(text);
+        System.out.println(text);
     }
 
     @Override
--- a/review/lib/review/Case.java
+++ b/review/lib/upgrades/Case.java
@@ -1,4 +1,4 @@
-package review;
+package upgrades;
 
 import java.io.IOException;
 import java.nio.file.Files;
