--- a/review/lib/upgrades/Dispatcher.java
+++ b/review/lib/upgrades/Dispatcher.java
@@ -1,6 +1,5 @@
 package upgrades;
 
-import java.io.File;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -66,7 +65,7 @@
         /** Sends a signal by its name without SIG. */
         void signal(String name) throws IOException, InterruptedException {
             record.line("SIG%s to process %d", name, number);
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
         }
 
         /** SIGTERM, and SIGKILL 3.7 s later if it is still there. */
@@ -99,13 +98,21 @@
         this.folder = folder;
         this.settingsFile = settingsFile;
         this.record = record;
-        this.oneCore = hasTaskset();
+        this.oneCore = System.getenv("ALL_CORES") == null && hasTaskset();
         this.listenAddress = "127.0.0.1:" + Http.freePort();
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
 
-    private static boolean hasTaskset() {
-        return List.of("/usr/bin/taskset", "/bin/taskset").stream().anyMatch(path -> new File(path).canExecute());
+    /** Whether a process may be put on one core here. */
+    private static boolean hasTaskset() throws IOException {
+        try {
+            Process process = new ProcessBuilder("taskset", "-c", Integer.toString(lastCore()), "true").start();
+            return process.waitFor() == 0;
+        } catch (IOException e) {
+            return false; // there is no taskset
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
     }
 
     String listenAddress() {
@@ -125,7 +132,7 @@
     Run start(Platform platform) throws IOException {
         int number = runs.size() + 1;
         String control = "127.0.0.1:" + Http.freePort();
-        List<String> command = new ArrayList<>(oneCore ? List.of("taskset", "-c", Integer.toString(firstCore())) : List.of());
+        List<String> command = new ArrayList<>(oneCore ? List.of("taskset", "-c", Integer.toString(lastCore())) : List.of());
         command.addAll(List.of("/bin/sh", "-c", deployCommand() + " " + settingsFile));
         Path log = folder.resolve("log" + number);
         ProcessBuilder builder = new ProcessBuilder(command);
@@ -145,7 +152,7 @@
     }
 
     /** The last core that this process may use. */
-    private static int firstCore() throws IOException {
+    private static int lastCore() throws IOException {
         String allowed = Files.readAllLines(Path.of("/proc/self/status")).stream()
                 .filter(line -> line.startsWith("Cpus_allowed_list:"))
                 .findFirst()
