--- a/review/lib/upgrades/Client.java
+++ b/review/lib/upgrades/Client.java
@@ -30,7 +30,9 @@
             double deadline = Record.now() + remainingMs;
             Http.Message answer = Http.read(socket.getInputStream());
             int status = answer == null ? 0 : answer.status();
-            record.line("client: %s %s, its time is up at %.1f, answered %d", messageClass, id, deadline, status);
+            if (record != null) {
+                record.line("client: %s %s, its time is up at %.1f, answered %d", messageClass, id, deadline, status);
+            }
             return new HandedIn(id, messageClass, deadline, status);
         }
     }
--- a/review/lib/upgrades/KeyWindowCase.java
+++ b/review/lib/upgrades/KeyWindowCase.java
@@ -20,6 +20,9 @@
     /** The first call is answered so long after it has come: 560 ms at usual pace, and 7.1 times slower. */
     private static final long FIRST_ANSWER_AFTER_MS = 4_000;
 
+    /** With the time until that answer it is slow for 6 s. */
+    private static final long SLOW_BEFORE_MS = 2_000;
+
     /** From the first call on: the partner shuts and opens again, 6.1 s later, just after it has forgotten the key. */
     private static final double SHUT_AFTER_MS = 1_500;
 
@@ -40,12 +43,15 @@
     @Override
     List<String> play() throws IOException, InterruptedException {
         Partner partner = new Partner("s-5be2a07c", DESTINATION, this::call);
-        Platform platform = new Platform("one", List.of(partner), Platform.notices(), record);
+        Platform platform = new Platform("one", List.of(partner, Load.partner()), Platform.notices(), record);
         dispatcher = new Dispatcher(folder, Settings.operator(folder, Settings.RULES), record);
         dispatcher.configure(platform);
         Dispatcher.Run old = dispatcher.start(platform);
         old.awaitYes(30_000);
-        Thread.sleep(2_000);
+        Load load = new Load(record);
+        load.start(dispatcher.listenAddress());
+        record.line("partner: slow from now on");
+        Thread.sleep(SLOW_BEFORE_MS);
         Client.HandedIn order =
                 Client.handIn(dispatcher.listenAddress(), "9b1f03aa5c7e2d41", "job-order", DESTINATION, 20_000, record);
         if (!order.taken()) {
@@ -57,6 +63,7 @@
             old.terminate();
         }
         Thread.sleep(11_000);
+        load.report(1);
         synchronized (calls) {
             if (calls.size() < 2) {
                 throw new IOException("the message was called " + calls.size() + " times, not twice at least");
--- a/review/lib/upgrades/MovedDiscoveryCase.java
+++ b/review/lib/upgrades/MovedDiscoveryCase.java
@@ -35,12 +35,15 @@
     List<String> play() throws IOException, InterruptedException {
         Partner partner = new Partner("s-5be2a07c", DESTINATION, this::hang);
         Map<String, Double> noticedAt = Platform.notices();
-        Platform first = new Platform("one", List.of(partner), noticedAt, record);
-        Platform second = new Platform("two", List.of(partner), noticedAt, record);
+        List<Partner> partners = List.of(partner, Load.partner());
+        Platform first = new Platform("one", partners, noticedAt, record);
+        Platform second = new Platform("two", partners, noticedAt, record);
         dispatcher = new Dispatcher(folder, Path.of("deploy/elderseam.ini"), record);
         dispatcher.configure(first);
         Dispatcher.Run old = dispatcher.start(first);
         old.awaitYes(30_000);
+        Load load = new Load(record);
+        load.start(dispatcher.listenAddress());
         Thread.sleep(3_000);
         Dispatcher.Run next = dispatcher.start(first);
         next.awaitLog("handover.warmup_started", 6_000);
@@ -53,7 +56,9 @@
         next.awaitYes(6_000);
         old.terminate();
         Thread.sleep(6_000); // what discovery has to tell counts as told 4 s after the signal, and no notice is excused any more
-        return lost(handInAll(), noticedAt);
+        List<Client.HandedIn> messages = handInAll();
+        load.report(messages.size());
+        return lost(messages, noticedAt);
     }
 
     private List<Client.HandedIn> handInAll() throws IOException, InterruptedException {
