--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
 # Compiles the stand-ins and the cases of the review into target/review, after the build of the deploy file. Needs the JDK
-# alone, and no network.
+# and what that build leaves in target/classes, and no network.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for folder in review/lib/*; do
-    javac --release 17 -d target/review "$folder"/*.java
+    javac --release 17 -cp target/classes -d target/review "$folder"/*.java
 done
