--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for folder in review/lib/*; do
-    javac --release 17 -cp target/classes -d target/review "$folder"/*.java
+    javac --release 17 -cp "target/classes:target/lib/*" -d target/review "$folder"/*.java
 done
