--- a/review/lib/review/Cases.java
+++ b/review/lib/review/Cases.java
@@ -22,6 +22,7 @@
             record.line("case     %s, %s", words[0], trouble ? "with its disruption" : "without its disruption");
             try {
                 verdict = switch (words[0]) {
+                    case "certificate" -> CertificateCase.run(record, trouble, folder);
                     case "refused" -> RefusedCase.run(record, trouble, folder);
                     default -> throw new IllegalArgumentException(words[0]);
                 };
