Events: "refused" only after a look-up; what can't be looked up is answered 504

What callers saw: a sender of rent payments as events that gives up after 400 ms and asks again was told `refused`, or a bare 503, while a call of its events was out. In an upgrade an event was refused just after it had executed, and pending requests were closed unanswered.

Cause: five answers came from places that had not looked the identity up: the bound on pending answers, the bounds on connections and on bodies in transit, HANDED_OVER, and the 503 at an end. The bounds were reached since a pending answer and a connection were held for each question, also of senders that had left.

Change: the event is looked up first. What waits is bounded by connections times events in a request, and is removed with its connection; a connection whose client has ended its side makes room for others. During an upgrade requests of senders wait for its result.

Who relied on it: senders over a bound had 503 and could go elsewhere at once, and now ask here again after 1 s; a client that ended its side alone may get 504 in place of its outcome when others need its place; requests during the transfer of an upgrade are delayed until it is confirmed or rolled back, where they were refused. Nothing is reordered. The bound of 1,000 pending answers goes; 64 connections times 64 events stand in its place, identities without bodies.

--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -24,7 +24,7 @@
  * Adds the CloudEvents frontend to a dispatcher, with its listeners and their certificate. Confined to the I/O thread.
  * Not loaded where the frontend is off and owes no outcome from an earlier process.
  */
-final class CloudEventsSetup {
+final class CloudEventsSetup implements EventIntake {
     private static final EventLogger LOG = EventLogger.of(CloudEventsSetup.class);
 
     private static final int MAX_CLIENTS = 64;
@@ -87,6 +87,21 @@
         frontend.setRules(rules);
     }
 
+    @Override
+    public void suspend() {
+        frontend.suspend();
+    }
+
+    @Override
+    public void resume() {
+        frontend.resume();
+    }
+
+    @Override
+    public void close() {
+        frontend.close();
+    }
+
     /**
      * Opens the listeners, if the frontend is on: at once without TLS, else with the first certificate.
      *
@@ -112,6 +127,7 @@
                 limits.requestBytes(),
                 context,
                 frontend::handle);
+        listener.setUnreadStatus(EventFrontend.OUTCOME_UNKNOWN);
         listeners.add(listener);
         LOG.info("cloudevents.listening", field("address", listener.address()));
         return listener;
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -77,6 +77,7 @@
     private final FleetServices fleet;
     private final Lifecycle lifecycle = new Lifecycle();
     private final ListenerGroup listeners = new ListenerGroup();
+    private final EventIntake events;
     private final ClientDrain clientDrain;
     private final TransferableDispatcher transferable;
     private final OwnershipTransfer transfer;
@@ -169,13 +170,14 @@
                         ? new LeasedCertificateOrder(settings)
                         : null;
         CloudEventsSetup cloudEvents = openListeners(journal, endpoints, certificateOrder);
+        events = cloudEvents == null ? EventIntake.NONE : cloudEvents;
         liveConfiguration.attach(frontend, cloudEvents, discovery);
         fleet = new FleetServices(
                 io, config, settings, dispatcher, discovery, endpoints, certificateOrder, liveConfiguration);
         liveConfiguration.attach(fleet);
         clientDrain = new ClientDrain(io, lifecycle, listeners);
         transferable = new TransferableDispatcher(
-                io, dispatcher, frontend, discovery, endpointConnections, lifecycle, listeners, fleet);
+                io, dispatcher, frontend, discovery, endpointConnections, lifecycle, listeners, fleet, events);
         transfer = new OwnershipTransfer(io, startup.ownership().lock(), transferable);
     }
 
@@ -348,7 +350,8 @@
 
     /** On SIGTERM, on the shutdown hook's thread: whatever the JVM was told, the process exits with 0. */
     private void shutDown() {
-        new GracefulShutdown(io, dispatcher, frontend, lifecycle, listeners, fleet, transfer, transferable).await();
+        new GracefulShutdown(io, dispatcher, frontend, lifecycle, listeners, events, fleet, transfer, transferable)
+                .await();
         Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/elderseam/app/GracefulShutdown.java
+++ b/src/main/java/elderseam/app/GracefulShutdown.java
@@ -44,6 +44,7 @@
     private final PlatformFrontend frontend;
     private final Lifecycle lifecycle;
     private final ListenerGroup listeners;
+    private final EventIntake events;
     private final FleetServices fleet;
     private final OwnershipTransfer transfer;
     private final TransferableDispatcher transferable;
@@ -58,6 +59,7 @@
             PlatformFrontend frontend,
             Lifecycle lifecycle,
             ListenerGroup listeners,
+            EventIntake events,
             FleetServices fleet,
             OwnershipTransfer transfer,
             TransferableDispatcher transferable) {
@@ -66,6 +68,7 @@
         this.frontend = frontend;
         this.lifecycle = lifecycle;
         this.listeners = listeners;
+        this.events = events;
         this.fleet = fleet;
         this.transfer = transfer;
         this.transferable = transferable;
@@ -111,6 +114,7 @@
     private void settle() {
         long now = io.clock.now();
         if (isSettled(now) || now > settleDeadlineNs) {
+            events.close();
             disconnect(Math.min(now + DISCONNECT_GRACE_NS, settleDeadlineNs + DISCONNECT_OVERRUN_NS));
             return;
         }
--- a/src/main/java/elderseam/app/ListenerGroup.java
+++ b/src/main/java/elderseam/app/ListenerGroup.java
@@ -59,11 +59,6 @@
         listeners.forEach(HttpServer::closeAllButActive);
     }
 
-    /** Closes the connections of CloudEvents clients at once: they retry, with the same event id. */
-    void closeCloudEventsConnections() {
-        listeners.stream().skip(1).forEach(HttpServer::closeConnections);
-    }
-
     /** Whether no client is connected. */
     boolean hasNoConnections() {
         return listeners.stream().allMatch(listener -> listener.openConnections() == 0);
--- a/src/main/java/elderseam/app/TransferableDispatcher.java
+++ b/src/main/java/elderseam/app/TransferableDispatcher.java
@@ -38,6 +38,7 @@
     private final Lifecycle lifecycle;
     private final ListenerGroup listeners;
     private final FleetServices fleet;
+    private final EventIntake events;
     private SuccessorProxy successor; // null while this process serves
     private BooleanSupplier resultsSent;
     private long exitDeadlineNs;
@@ -50,7 +51,8 @@
             EndpointConnectionPool endpointConnections,
             Lifecycle lifecycle,
             ListenerGroup listeners,
-            FleetServices fleet) {
+            FleetServices fleet,
+            EventIntake events) {
         this.io = io;
         this.dispatcher = dispatcher;
         this.frontend = frontend;
@@ -59,6 +61,7 @@
         this.lifecycle = lifecycle;
         this.listeners = listeners;
         this.fleet = fleet;
+        this.events = events;
     }
 
     /** A client's request: served here, or forwarded once another process has the work. */
@@ -74,6 +77,7 @@
     public HandoverFrame.StateTransfer suspend(Consumer<Handover.ForwardedOutcome> onAttemptEnded) {
         listeners.stopAccepting();
         successor = new SuccessorProxy(io, listeners.platformAddress());
+        events.suspend();
         discovery.suspend();
         frontend.suspendNotifications();
         endpointConnections.closeIdle();
@@ -97,6 +101,7 @@
         frontend.resumeNotifications();
         discovery.resume();
         suspended.handleQueuedLocally(frontend::handle);
+        events.resume();
     }
 
     @Override
@@ -104,7 +109,7 @@
         resultsSent = allResultsSent;
         lifecycle.beginShutdown();
         listeners.closeAfterAnswer(true);
-        listeners.closeCloudEventsConnections();
+        events.close();
         successor.startForwarding();
         exitDeadlineNs = io.clock.now() + RETIRE_LIMIT_NS;
         io.at(io.clock.now() + GracefulShutdown.ACCEPT_GRACE_NS, this::exitOnceDone);
--- a/src/main/java/elderseam/core/RequestAdmission.java
+++ b/src/main/java/elderseam/core/RequestAdmission.java
@@ -39,13 +39,13 @@
 
     /** As {@link RequestDispatcher#submit(ActiveRequest.Message, List)}. */
     Optional<FinalOutcome> submit(ActiveRequest.Message message, List<String> alternateKeys) {
-        if (dispatcher.handover().isTransferred()) { // too late for the handover; not accepted
-            return Optional.of(reject(message, OutcomeReason.HANDED_OVER));
-        }
         Optional<FinalOutcome> known = journal.outcome(message.id());
         if (known.isPresent() || isInFlight(message.id())) {
             return known;
         }
+        if (dispatcher.handover().isTransferred()) { // too late for the handover; not accepted
+            return Optional.of(reject(message, OutcomeReason.HANDED_OVER));
+        }
         if (message.hasDeduplicationKey() || !alternateKeys.isEmpty()) {
             Optional<FinalOutcome> shared = duplicates.storedOutcome(message.deduplicationKey(), alternateKeys);
             if (shared.isPresent()) {
--- a/src/main/java/elderseam/frontend/cloudevents/EventFrontend.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventFrontend.java
@@ -10,7 +10,6 @@
 import elderseam.http.HttpRequestAttributes;
 import elderseam.http.HttpServer;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +17,10 @@
 /**
  * The frontend for CloudEvents over HTTP. The response to a request holds the final outcome of its event, or of each
  * event of its batch, and is sent once all are known. Confined to the I/O thread.
+ *
+ * <p>An event is refused only if the dispatcher does not know it: its sender may then submit it elsewhere. While another
+ * process takes over, requests wait; where an outcome can't be awaited here any more, the request gets {@link
+ * #OUTCOME_UNKNOWN}.
  */
 public final class EventFrontend implements Frontend {
     /** This frontend's number. Journal and handover hold it: never to be changed. */
@@ -26,24 +29,28 @@
     /** The longest body of a request, in bytes. */
     public static final int MAX_BODY_BYTES = EventDecoder.MAX_BATCH_BYTES;
 
+    /** The status of a request about whose events nothing is known here; an earlier copy of one may be in flight. */
+    public static final int OUTCOME_UNKNOWN = EventResponse.OUTCOME_UNKNOWN;
+
     private static final String PATH = "/events";
-    private static final int MAX_PENDING_EVENTS = 1_000;
-    private static final EventResult TOO_MANY_PENDING =
-            EventResult.rejected(1, "too many requests wait for their answers");
-
-    /** An event without a final outcome, by its place in a request. */
-    private record PendingEvent(EventResponse response, int index) {
-        void complete(EventResult result) {
-            response.complete(index, result);
-        }
+
+    private enum State {
+        SERVING,
+        /** Another process may take over: requests wait. */
+        SUSPENDED,
+        /** Another process owns the events, or the next one will. */
+        CLOSED
     }
 
+    private record WaitingRequest(HttpServer.Request request, HttpServer.Answerer answerer) {}
+
     private final RequestDispatcher dispatcher;
     private final EventDecoder decoder;
     private final WebHookHandshake webHook;
-    private final Map<String, List<PendingEvent>> pendingById = new HashMap<>(); // by the messages' ids
-    private int pendingEvents;
+    private final PendingEvents pendingEvents = new PendingEvents();
+    private final List<WaitingRequest> waitingRequests = new ArrayList<>(); // no more than there are connections
     private AdmissionRules rules; // null where there are none
+    private State state = State.SERVING;
 
     /** {@code rules}: the operator's, or null. */
     public EventFrontend(
@@ -70,7 +77,7 @@
             return;
         }
         switch (request.method()) {
-            case "POST" -> submitAll(request, answerer);
+            case "POST" -> receive(request, answerer);
             case "OPTIONS" -> {
                 WebHookHandshake.Reply reply = webHook.answer(request);
                 answerer.answer(reply.code(), reply.headers(), "");
@@ -79,44 +86,76 @@
         }
     }
 
+    private void receive(HttpServer.Request request, HttpServer.Answerer answerer) {
+        switch (state) {
+            case SERVING -> submitAll(request, answerer);
+            case SUSPENDED -> await(new WaitingRequest(request, answerer));
+            case CLOSED -> EventResponse.answerOutcomeUnknown(answerer);
+        }
+    }
+
+    private void await(WaitingRequest waiting) {
+        waitingRequests.add(waiting);
+        waiting.answerer().onAbandoned(() -> waitingRequests.remove(waiting));
+    }
+
+    /** Lets requests wait, because another process may take over the events. Outcomes are still answered. */
+    public void suspend() {
+        state = State.SUSPENDED;
+    }
+
+    /** Handles the requests that have waited, and all later ones: no other process has taken over. */
+    public void resume() {
+        state = State.SERVING;
+        removeWaiting().forEach(waiting -> submitAll(waiting.request(), waiting.answerer()));
+    }
+
+    /**
+     * Answers all requests with {@link #OUTCOME_UNKNOWN}, now and from now on: their senders repeat them, and the process
+     * that owns the events then knows them.
+     */
+    public void close() {
+        state = State.CLOSED;
+        removeWaiting().forEach(waiting -> EventResponse.answerOutcomeUnknown(waiting.answerer()));
+        pendingEvents.endAll();
+    }
+
+    private List<WaitingRequest> removeWaiting() {
+        List<WaitingRequest> removed = List.copyOf(waitingRequests);
+        waitingRequests.clear();
+        return removed;
+    }
+
     private void submitAll(HttpServer.Request request, HttpServer.Answerer answerer) {
         DecodedRequest decoded = decoder.decode(request, rules != null);
         EventResponse response = new EventResponse(decoded, answerer);
+        answerer.onAbandoned(() -> pendingEvents.remove(response));
         List<DecodedEvent> events = decoded.events();
         for (int i = 0; i < events.size(); i++) {
-            PendingEvent pending = new PendingEvent(response, i);
             if (events.get(i) instanceof DecodedEvent.Valid valid) {
-                submit(request, valid, pending);
+                Optional<EventResult> result = submit(request, valid);
+                if (result.isPresent()) {
+                    response.complete(i, result.get());
+                } else {
+                    pendingEvents.add(valid.message().id(), response, i);
+                }
             } else if (events.get(i) instanceof DecodedEvent.Invalid invalid) {
-                pending.complete(EventResult.invalid(invalid.status(), invalid.reason()));
+                response.complete(i, EventResult.invalid(invalid.status(), invalid.reason()));
             }
         }
     }
 
-    private void submit(HttpServer.Request request, DecodedEvent.Valid event, PendingEvent pending) {
-        if (pendingEvents >= MAX_PENDING_EVENTS) {
-            pending.complete(TOO_MANY_PENDING);
-            return;
-        }
-        Optional<FinalOutcome> outcome;
+    /** Submits an event; empty if its final outcome is not known yet. */
+    private Optional<EventResult> submit(HttpServer.Request request, DecodedEvent.Valid event) {
         if (rules == null) {
-            outcome = dispatcher.submit(event.message());
-        } else {
-            AdmissionRules.Decision decision = evaluateRules(request, event);
-            if (decision instanceof AdmissionRules.Invalid invalid) {
-                pending.complete(EventResult.invalid(400, invalid.reason()));
-                return;
-            }
-            outcome = decision.submitTo(dispatcher);
+            return dispatcher.submit(event.message()).map(EventResult::of);
         }
-        if (outcome.isPresent()) {
-            pending.complete(EventResult.of(outcome.get()));
-            return;
+        AdmissionRules.Decision decision = evaluateRules(request, event);
+        boolean invalid = decision instanceof AdmissionRules.Invalid;
+        if (invalid && !dispatcher.isKnown(event.message().id())) { // rules of before may have accepted it
+            return Optional.of(EventResult.invalid(400, ((AdmissionRules.Invalid) decision).reason()));
         }
-        pendingEvents++;
-        pendingById
-                .computeIfAbsent(event.message().id(), id -> new ArrayList<>(1))
-                .add(pending);
+        return decision.submitTo(dispatcher).map(EventResult::of);
     }
 
     private AdmissionRules.Decision evaluateRules(HttpServer.Request request, DecodedEvent.Valid event) {
@@ -128,10 +167,6 @@
     @Override
     public void completed(ActiveRequest.Message message, FinalOutcome outcome) {
         dispatcher.markNotified(message.id());
-        List<PendingEvent> completed = pendingById.remove(message.id());
-        if (completed != null) {
-            pendingEvents -= completed.size();
-            completed.forEach(pending -> pending.complete(EventResult.of(outcome)));
-        }
+        pendingEvents.complete(message.id(), EventResult.of(outcome));
     }
 }
--- a/src/main/java/elderseam/http/ClientConnection.java
+++ b/src/main/java/elderseam/http/ClientConnection.java
@@ -68,6 +68,7 @@
     private long deadline;
     private boolean awaitsFirstRequest = true;
     private int reservedBodyBytes;
+    private PendingAnswer pendingAnswer; // null unless PROCESSING
 
     /** Creates the state of a connection that was just accepted. */
     ClientConnection(ClientConnections connections, StreamConnection channel, Clock clock) {
@@ -113,8 +114,27 @@
         enter(State.PROCESSING, Long.MAX_VALUE);
     }
 
+    /** Called before the handler gets the request that will be answered by {@code answer}. */
+    void processingStarts(PendingAnswer answer) {
+        pendingAnswer = answer;
+    }
+
+    /** Whether the client has ended its side while its request is processed. Reads from the socket. */
+    boolean isAbandoned() {
+        return state == State.PROCESSING && pendingAnswer != null && headValidator.isAtEnd();
+    }
+
+    /**
+     * Answers the request of a client that has ended its side, as the server turns away what it has not read, and ends
+     * the connection.
+     */
+    void endAbandoned() {
+        pendingAnswer.end(connections.unreadStatus());
+    }
+
     /** Called before the response is written. */
     void responseStarting() {
+        pendingAnswer = null;
         enter(State.RESPONDING, clock.now() + RESPONSE_TIMEOUT_NS);
     }
 
@@ -203,7 +223,7 @@
      * any input has arrived: a new connection must not end without a response.
      */
     void refuse(int statusCode) {
-        String retryAfter = statusCode == StatusCodes.SERVICE_UNAVAILABLE ? "Retry-After: 1\r\n" : "";
+        String retryAfter = statusCode == connections.unreadStatus() ? "Retry-After: 1\r\n" : "";
         String response = "HTTP/1.1 " + statusCode + " " + StatusCodes.getReason(statusCode) + "\r\n" + retryAfter
                 + "Connection: close\r\nContent-Length: 0\r\n\r\n";
         beginLingering();
@@ -256,6 +276,11 @@
 
     private void reset() {
         releaseBody();
+        PendingAnswer abandoned = pendingAnswer;
+        pendingAnswer = null;
+        if (abandoned != null) {
+            abandoned.abandon();
+        }
         if (state == State.LINGERING) {
             connections.lingeringEnded();
         } else if (!hasNoRequest()) {
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -14,8 +14,9 @@
 
 /**
  * The client connections of one server, with limits on their number and on the total size of the request bodies that
- * are being read. A new connection over the limit evicts one that is idle or has not sent a complete request; if there
- * is no such connection, the new one is refused with a 503. Confined to the I/O thread.
+ * are being read. A new connection over the limit evicts one that is idle or has not sent a complete request, or those
+ * whose clients have ended their side while their requests are processed; if there is no such connection, the new one
+ * is turned away. Confined to the I/O thread.
  */
 final class ClientConnections {
     private static final long SWEEP_INTERVAL_NS = 100 * Clock.MILLISECOND_NS;
@@ -33,6 +34,7 @@
     private int bodyBytesInTransit;
     private int lingeringCount;
     private boolean sweepScheduled;
+    private int unreadStatus = StatusCodes.SERVICE_UNAVAILABLE;
 
     /**
      * Creates an empty set.
@@ -46,6 +48,16 @@
         this.maxBodyBytesInTransit = maxBodyBytesInTransit;
     }
 
+    /** As {@link HttpServer#setUnreadStatus}. */
+    void setUnreadStatus(int statusCode) {
+        unreadStatus = statusCode;
+    }
+
+    /** The status with which connections and requests are turned away unread. */
+    int unreadStatus() {
+        return unreadStatus;
+    }
+
     /** Returns a listener that adds each new connection and, if the limit admits it, passes it to {@code next}. */
     ChannelListener<StreamConnection> limitingListener(ChannelListener<? super StreamConnection> next) {
         return channel -> {
@@ -70,7 +82,7 @@
         if (admitted) {
             ChannelListeners.invokeChannelListener(channel, next);
         } else {
-            connection.refuse(StatusCodes.SERVICE_UNAVAILABLE);
+            connection.refuse(unreadStatus);
         }
     }
 
@@ -83,23 +95,38 @@
         }
     }
 
-    /** Evicts the connection that is first in the eviction order. Returns false if none may be evicted. */
+    /**
+     * Evicts the connection that is first in the eviction order, or those that their clients have left. Returns false
+     * if none may be evicted.
+     */
     private boolean tryEvictOne() {
         long now = io.clock.now();
         ClientConnection evicted = byChannel.values().stream()
                 .min(Comparator.comparing(connection -> connection.evictionRank(now)))
                 .orElseThrow();
         if (evicted.evictionRank(now) == EvictionRank.NEVER) {
-            return false;
+            return tryEndAbandoned();
         }
         if (evicted.awaitsFirstRequest() || evicted.hasRequestBegun()) {
-            evicted.refuse(StatusCodes.SERVICE_UNAVAILABLE); // a request of its client may be in transit
+            evicted.refuse(unreadStatus); // a request of its client may be in transit
         } else {
             evicted.closeGracefully();
         }
         return true;
     }
 
+    /**
+     * Ends the connections whose clients have ended their side while their requests are processed. Such a client may
+     * still read, so that its request is answered. Returns false if there is none.
+     */
+    private boolean tryEndAbandoned() {
+        List<ClientConnection> abandoned = byChannel.values().stream()
+                .filter(ClientConnection::isAbandoned)
+                .toList();
+        abandoned.forEach(ClientConnection::endAbandoned);
+        return !abandoned.isEmpty();
+    }
+
     /** Returns when this process last began to read again after a stall; see {@link IoLoop#lastStallEnd}. */
     long lastStallEnd() {
         return io.lastStallEnd();
@@ -138,7 +165,7 @@
 
     /**
      * Closes all inactive connections once the input that has arrived is read. Those on which no request has arrived
-     * since they were accepted get a 503 first.
+     * since they were accepted are turned away.
      */
     void closeAllButActive() {
         io.afterReading(() -> {
@@ -147,7 +174,7 @@
                     continue;
                 }
                 if (connection.awaitsFirstRequest()) {
-                    connection.refuse(StatusCodes.SERVICE_UNAVAILABLE);
+                    connection.refuse(unreadStatus);
                 } else {
                     connection.closeGracefully();
                 }
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -60,6 +60,12 @@
          * @param code the status code
          */
         void answer(int code, Map<String, String> headers, String body);
+
+        /**
+         * Sets the listener that is run once if the request will get no response through this object any more, because
+         * its connection has ended or the server has answered it itself. Not run after {@link #answer}.
+         */
+        default void onAbandoned(Runnable listener) {}
     }
 
     /** The frontend's handler of requests. */
@@ -244,6 +250,15 @@
         return address;
     }
 
+    /**
+     * Sets the status with which connections and requests are turned away unread, for lack of capacity or at the end of
+     * the process. The default is 503. A server whose clients repeat a request under the same identity needs another
+     * one: a 503 tells that the request will not be executed, and an earlier copy of it may be in flight.
+     */
+    public void setUnreadStatus(int statusCode) {
+        clientConnections.setUnreadStatus(statusCode);
+    }
+
     /** Uses the certificate of the given context for new connections; only for a TLS server. */
     public void updateCertificate(SSLContext context) {
         ssl.updateSSLContext(context);
@@ -264,7 +279,7 @@
 
     /**
      * Closes all connections except those whose request is being read or answered, once all input that has arrived is
-     * read. Connections that have not sent a request yet get a 503 first.
+     * read. Connections that have not sent a request yet are turned away with the status of {@link #setUnreadStatus}.
      */
     public void closeAllButActive() {
         clientConnections.closeAllButActive();
--- a/src/main/java/elderseam/http/RequestHeadValidator.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -10,6 +10,9 @@
  * without a colon as a header and accepts white space before the colon, which RFC 9112, section 5.1, forbids. Bytes
  * after a head are not validated until {@link #beginHead}.
  *
+ * <p>{@link #isAtEnd} looks whether the client has ended its side; a byte that is read by that look is held back until
+ * the next read.
+ *
  * <p>On a lingering connection it reads and discards further input ({@link #discardInput}). Undertow's own clean close
  * waits for one byte and then closes the socket with the rest unread, which resets the connection, and the client could
  * lose the response in transit. Confined to the I/O thread.
@@ -32,11 +35,29 @@
     private int lineLength;
     private int discardedBytes;
 
+    /** Holds the byte that was read by {@link #isAtEnd}, or none. */
+    private final ByteBuffer heldBack = ByteBuffer.allocate(1).limit(0);
+
     RequestHeadValidator(StreamSourceConduit next) {
         super(next);
         beginHead();
     }
 
+    /** Whether the client has ended its side and sent nothing before; a connection that fails has ended, too. */
+    boolean isAtEnd() {
+        if (heldBack.hasRemaining()) {
+            return false;
+        }
+        heldBack.clear();
+        try {
+            return super.read(heldBack) == END_OF_STREAM;
+        } catch (IOException e) {
+            return true;
+        } finally {
+            heldBack.flip();
+        }
+    }
+
     /** Expects the next byte to be the first of a request head. */
     void beginHead() {
         inHead = true;
@@ -69,16 +90,34 @@
             return discard();
         }
         int start = target.position();
-        int count = super.read(target);
+        int count = heldBack.hasRemaining() && target.hasRemaining() ? takeHeldBack(target) : super.read(target);
         validate(target, start);
         return count;
     }
 
+    private int takeHeldBack(ByteBuffer target) {
+        target.put(heldBack.get());
+        return 1;
+    }
+
+    /** A byte that is held back is input, though the socket may have none. */
+    @Override
+    public void resumeReads() {
+        if (heldBack.hasRemaining()) {
+            super.wakeupReads();
+        } else {
+            super.resumeReads();
+        }
+    }
+
     @Override
     public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
         if (discarding) {
             return discard();
         }
+        if (heldBack.hasRemaining() && length > 0 && targets[offset].hasRemaining()) {
+            return read(targets[offset]);
+        }
         int[] starts = new int[length];
         for (int i = 0; i < length; i++) {
             starts[i] = targets[offset + i].position();
--- a/src/main/java/elderseam/http/RequestReceiver.java
+++ b/src/main/java/elderseam/http/RequestReceiver.java
@@ -70,7 +70,7 @@
         } else if (length > maxBodyBytes) {
             refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
         } else if (!reserved) {
-            refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+            refuse(exchange, connections.unreadStatus());
         } else {
             receiveBody(exchange, connection);
         }
@@ -158,8 +158,13 @@
                 exchange.getRequestHeaders(),
                 body,
                 exchange.getSourceAddress());
+        PendingAnswer answer = new PendingAnswer((code, headers, text) -> answer(exchange, code, headers, text));
+        ClientConnection connection = connections.get(channel(exchange));
+        if (connection != null) {
+            connection.processingStarts(answer);
+        }
         try {
-            handler.handle(request, (code, headers, text) -> answer(exchange, code, headers, text));
+            handler.handle(request, answer);
         } catch (RuntimeException e) { // an error in one request must not affect others
             LOG.error("http.request_failed", e);
             if (!exchange.isResponseStarted()) {
