Upgrade: the newer process acts on a configuration that only the older one was told

Cause: the newer process read its files once, before it waited for the work, and the signal is the older one's until the newer says yes. What came after that reading was neither transferred nor read again; after the transfer the older process applied it to work that it no longer had; after its end nobody got the signal; a rollback lost it, too.

Change: ConfigurationReloads. The newer process compares the files' stamps with those from before it read them, when it takes over and each 100 ms from then on, until the older one has ended and 4 s after its own readiness; what has changed and rested is read as on SIGHUP. A process that passes its work on applies what it reads only if it gets the work back. A file that can't be used changes nothing; then the older process's discovery address is taken if it read that later. It is appended to StateTransfer, which other builds ignore, and absent from theirs. So every signal that may go to the older process is covered without being forwarded, and no frame is new.

Who relied on it: a reload at a process that has passed its work on is delayed until a rollback, or left to the newer process; nobody was served by it there. Nothing is discarded that would have had an effect. ReloadTrigger's poller under nohup begins with the stamps from before the first reading.

Also, by reading and without a test: after a rollback the gossip roster of the last reload and the check of versions count again.

--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -37,7 +37,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -63,6 +62,7 @@
             ServerSocketChannel inherited,
             ControlServer control,
             OwnershipAcquisition.Ownership ownership,
+            FileStamps files,
             long startedNs) {}
 
     private final Startup startup;
@@ -74,6 +74,7 @@
     private final DiscoveryWatcher discovery;
     private final EndpointConnectionPool endpointConnections;
     private final LiveConfiguration liveConfiguration;
+    private final ConfigurationReloads reloads;
     private final FleetServices fleet;
     private final Lifecycle lifecycle = new Lifecycle();
     private final ListenerGroup listeners = new ListenerGroup();
@@ -95,6 +96,7 @@
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long calledNs = System.nanoTime();
         XnioStartup.configure();
+        FileStamps files = ConfigurationReloads.stamps(variables, settingsFile);
         OperatorSettings.Loaded operator = OperatorSettings.load(settingsFile);
         Clock clock = clock(operator.settings());
         long startedNs = clock.now() - (System.nanoTime() - calledNs);
@@ -106,13 +108,13 @@
         long diskBytes = config.limits().diskBytes();
         Journal journal =
                 new Journal(config.stateDirectory(), diskBytes - PolicySnapshots.reservedBytes(diskBytes), clock);
-        Startup startup = new Startup(config, operator, settingsFile, inherited, control, ownership, startedNs);
+        Startup startup = new Startup(config, operator, settingsFile, inherited, control, ownership, files, startedNs);
         io.run(() -> start(startup, journal, io, variables));
     }
 
     private static void start(Startup startup, Journal journal, IoLoop io, Map<String, String> variables) {
         try {
-            new DispatcherServer(startup, journal, io).begin(variables);
+            new DispatcherServer(startup, journal, io, variables).begin();
         } catch (SettingsFault e) {
             e.faults().forEach(System.err::println);
             Runtime.getRuntime().halt(1);
@@ -142,7 +144,8 @@
         return socket;
     }
 
-    private DispatcherServer(Startup startup, Journal journal, IoLoop io) throws IOException {
+    private DispatcherServer(Startup startup, Journal journal, IoLoop io, Map<String, String> variables)
+            throws IOException {
         this.startup = startup;
         this.config = startup.config();
         this.settings = startup.operator().settings();
@@ -157,30 +160,50 @@
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
         reportToDispatcher(platform);
-        liveConfiguration = new LiveConfiguration(
-                new LiveConfiguration.RuleTargets(io, dispatcher, journal), config, settings, startup.settingsFile());
+        liveConfiguration = readLiveConfiguration(journal, variables);
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
         frontend = new PlatformFrontend(
                 io, platform, discoveryAddress, dispatcher, config.settings(), liveConfiguration.rules(), lifecycle);
         dispatcher.registerFrontend(PlatformFrontend.NUMBER, frontend, attemptSender(endpoints));
         discovery = new DiscoveryWatcher(io, platform, discoveryAddress, endpoints, dispatcher);
         dispatcher.onWatchRequested(discovery::watch);
-        LeasedCertificateOrder certificateOrder =
-                settings.get(SettingKeys.FLEET_CERTIFICATES).equals("one")
-                        ? new LeasedCertificateOrder(settings)
-                        : null;
+        LeasedCertificateOrder certificateOrder = certificateOrder();
         CloudEventsSetup cloudEvents = openListeners(journal, endpoints, certificateOrder);
         events = cloudEvents == null ? EventIntake.NONE : cloudEvents;
         liveConfiguration.attach(frontend, cloudEvents, discovery);
         fleet = new FleetServices(
                 io, config, settings, dispatcher, discovery, endpoints, certificateOrder, liveConfiguration);
         liveConfiguration.attach(fleet);
+        reloads = new ConfigurationReloads(io, liveConfiguration, this::transferState, startup.files(), settings);
         clientDrain = new ClientDrain(io, lifecycle, listeners);
-        transferable = new TransferableDispatcher(
-                io, dispatcher, frontend, discovery, endpointConnections, lifecycle, listeners, fleet, events);
+        transferable = transferableDispatcher();
         transfer = new OwnershipTransfer(io, startup.ownership().lock(), transferable);
     }
 
+    private LiveConfiguration readLiveConfiguration(Journal journal, Map<String, String> variables) throws IOException {
+        return new LiveConfiguration(
+                new LiveConfiguration.RuleTargets(io, dispatcher, journal),
+                config,
+                settings,
+                startup.settingsFile(),
+                variables,
+                startup.startedNs());
+    }
+
+    /** Where one member orders the certificate for all; else null. */
+    private LeasedCertificateOrder certificateOrder() throws IOException {
+        return settings.get(SettingKeys.FLEET_CERTIFICATES).equals("one") ? new LeasedCertificateOrder(settings) : null;
+    }
+
+    private TransferableDispatcher transferableDispatcher() {
+        return new TransferableDispatcher(
+                io, dispatcher, frontend, discovery, endpointConnections, lifecycle, listeners, fleet, events, reloads);
+    }
+
+    private HandoverSender.State transferState() {
+        return transfer.state();
+    }
+
     private PlatformAttemptSender attemptSender(EndpointList endpoints) {
         return new PlatformAttemptSender(
                 io, endpointConnections, endpoints, config.settings(), dispatcher.endpointResponses());
@@ -240,10 +263,12 @@
      * Outcomes that are known are notified, and the first attempts sent, before anything that waits at the port is
      * read.
      */
-    private void begin(Map<String, String> variables) throws IOException {
+    private void begin() throws IOException {
         if (startup.ownership() instanceof OwnershipAcquisition.Takeover takeover) {
+            reloads.catchUpWith(takeover.state().configuration());
             takeOver(takeover);
         } else {
+            reloads.catchUp(); // an older process may have ended while this one waited for its folder
             recover();
         }
         LOG.info(
@@ -253,10 +278,7 @@
         if (startup.control() != null) {
             serveOperators(startup.control());
         }
-        ReloadTrigger.install(
-                () -> liveConfiguration.reload(variables),
-                io::run,
-                List.of(Path.of(variables.get("RELAY_CONFIG")), startup.settingsFile()));
+        reloads.install();
         Runtime.getRuntime().addShutdownHook(new Thread(this::shutDown, "drain"));
     }
 
@@ -306,6 +328,7 @@
     }
 
     private void onPredecessorGone() {
+        reloads.predecessorGone();
         endpointConnections.setMaxConnections(config.limits().endpointConnections());
         dispatcher.handover().predecessorExited();
     }
@@ -318,6 +341,7 @@
 
     private void onReady() {
         lifecycle.markStarted();
+        reloads.ready();
         long readyAfterMs = (io.clock.now() - startup.startedNs()) / Clock.MILLISECOND_NS;
         LOG.info(
                 "server.ready",
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -29,6 +29,7 @@
     private GossipService gossip;
     private PartitionService partition;
     private LeaseService leases;
+    private Settings reloaded; // as the last reload read them; null before
 
     /**
      * Joins the fleet as the settings say.
@@ -63,6 +64,9 @@
         gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off")
                 ? null
                 : new GossipService(io, settings, dispatcher);
+        if (reloaded != null) {
+            reload(reloaded).run();
+        }
         partition = openPartition();
         leases = settings.get(SettingKeys.FLEET_LISTEN).equals("off") ? null : openLeases();
     }
@@ -102,7 +106,14 @@
 
     /** Reads what fresh settings name; the result applies it, on the I/O thread. */
     Runnable reload(Settings fresh) throws IOException {
-        return gossip == null ? () -> {} : gossip.reload(fresh);
+        GossipService readFor = gossip;
+        Runnable apply = readFor == null ? () -> {} : readFor.reload(fresh);
+        return () -> {
+            reloaded = fresh;
+            if (gossip == readFor) { // else the fleet was joined anew meanwhile
+                apply.run();
+            }
+        };
     }
 
     /** Whether the fleet's leases are on. */
--- a/src/main/java/elderseam/app/LiveConfiguration.java
+++ b/src/main/java/elderseam/app/LiveConfiguration.java
@@ -10,6 +10,7 @@
 import elderseam.frontend.platform.DiscoveryWatcher;
 import elderseam.frontend.platform.PlatformConfiguration;
 import elderseam.frontend.platform.PlatformFrontend;
+import elderseam.handover.HandoverFrame;
 import elderseam.http.EndpointAddress;
 import elderseam.http.IoLoop;
 import elderseam.logging.EventLogger;
@@ -27,9 +28,11 @@
  * on: the address of discovery, the rules, the gossip roster. It is read and checked completely on whatever thread
  * asks; what a reading returns makes it effective, on the I/O thread, to which everything else here is confined.
  */
-final class LiveConfiguration implements VersionReader {
+final class LiveConfiguration implements VersionReader, ConfigurationReloads.Source {
     private static final EventLogger LOG = EventLogger.of(LiveConfiguration.class);
 
+    private static final String DISCOVERY_ID = "discovery";
+
     /** The operator's rules; none of their classes is loaded while there are none. */
     interface ReloadableRules extends AdmissionRules {
         /** Reads the rules that fresh settings name; the result applies them, on the I/O thread. */
@@ -43,7 +46,9 @@
     private final PlatformConfiguration config;
     private final Settings startSettings;
     private final Path settingsFile;
+    private final Map<String, String> variables;
     private PlatformConfiguration latestConfig; // as the last reload read it
+    private long readNs; // when that reading began, or the one of the start
     private volatile ReloadableRules rules; // null while there are none
     private PlatformFrontend frontend;
     private CloudEventsSetup cloudEvents; // null while it is off
@@ -54,14 +59,24 @@
      * Reads the rules of the start.
      *
      * @param startSettings the operator's settings at the start, from {@code settingsFile}
+     * @param variables the RELAY variables of the environment
+     * @param readNs when the reading of configuration and settings began, on the loop's clock
      * @throws IOException if the rules can't be used
      */
-    LiveConfiguration(RuleTargets ruleTargets, PlatformConfiguration config, Settings startSettings, Path settingsFile)
+    LiveConfiguration(
+            RuleTargets ruleTargets,
+            PlatformConfiguration config,
+            Settings startSettings,
+            Path settingsFile,
+            Map<String, String> variables,
+            long readNs)
             throws IOException {
         this.ruleTargets = ruleTargets;
         this.config = config;
         this.startSettings = startSettings;
         this.settingsFile = settingsFile;
+        this.variables = variables;
+        this.readNs = readNs;
         this.latestConfig = config;
         boolean hasRules = !startSettings.get(SettingKeys.RULES_FILES).isEmpty()
                 || !ruleTargets.journal().keySchemes().isEmpty();
@@ -97,13 +112,15 @@
     /** Where discovery is by these settings, or else by the platform's configuration. */
     EndpointAddress discoveryAddress(Settings settings) {
         String configured = settings.get(SettingKeys.DISCOVERY_ADDRESS);
-        return new EndpointAddress("discovery", configured.isEmpty() ? latestConfig.discoveryAddress() : configured);
+        return new EndpointAddress(DISCOVERY_ID, configured.isEmpty() ? latestConfig.discoveryAddress() : configured);
     }
 
     /**
      * Reads the configuration again, on SIGHUP. A version that the fleet agreed on outranks this member's own files.
      */
-    Runnable reload(Map<String, String> variables) throws IOException {
+    @Override
+    public Runnable read() throws IOException {
+        long beganNs = ruleTargets.io().clock.now();
         PlatformConfiguration freshConfig = PlatformConfiguration.read(variables);
         Optional<VersionService> versions = fleet.versions();
         boolean versionActive = versions.isPresent() && versions.get().active().number() > 0;
@@ -114,6 +131,7 @@
         List<String> needRestart = startSettings.changedStartKeys(own);
         return () -> {
             latestConfig = freshConfig;
+            readNs = beganNs;
             moveDiscovery(effective);
             applyFleet.run();
             applyRules.run();
@@ -124,6 +142,23 @@
         };
     }
 
+    @Override
+    public HandoverFrame.ConfigurationReading current() {
+        return new HandoverFrame.ConfigurationReading(
+                discovery.address().address(), ruleTargets.io().clock.now() - readNs);
+    }
+
+    @Override
+    public void adopt(HandoverFrame.ConfigurationReading reading) {
+        readNs = ruleTargets.io().clock.now() - reading.ageNs();
+        moveDiscovery(new EndpointAddress(DISCOVERY_ID, reading.discoveryAddress()));
+    }
+
+    @Override
+    public void resumed() {
+        guardRules();
+    }
+
     @Override
     public Runnable readVersion(Path directory) throws IOException {
         return read(merged(directory));
@@ -148,7 +183,10 @@
     }
 
     private void moveDiscovery(Settings settings) {
-        EndpointAddress address = discoveryAddress(settings);
+        moveDiscovery(discoveryAddress(settings));
+    }
+
+    private void moveDiscovery(EndpointAddress address) {
         discovery.changeAddress(address);
         frontend.changePlatformAddress(address);
     }
--- a/src/main/java/elderseam/app/ReloadTrigger.java
+++ b/src/main/java/elderseam/app/ReloadTrigger.java
@@ -5,20 +5,12 @@
 
 import elderseam.core.Clock;
 import elderseam.logging.EventLogger;
-import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.attribute.BasicFileAttributes;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Consumer;
 
 /**
- * Reads the configuration again on SIGHUP, on the signal's own thread. A file that can't be used changes nothing.
+ * Has the configuration read again on SIGHUP, on the signal's own thread.
  *
  * <p>Without a handler the JVM ends on this signal. {@code sun.misc.Signal} is the only API for one, and is used by
  * reflection since the compiler's warning of it can't be suppressed. Where SIGHUP was ignored when the process was
@@ -28,26 +20,6 @@
 final class ReloadTrigger {
     private static final EventLogger LOG = EventLogger.of(ReloadTrigger.class);
 
-    /** Reads a configuration. */
-    interface Reader {
-        /** Reads all there is to read; the result applies it, and is run on the thread that owns what it changes. */
-        Runnable read() throws IOException;
-    }
-
-    /** What changes with a file. */
-    private record FileStamp(Object modified, long bytes, String key) {
-        static Optional<FileStamp> of(Path file) {
-            try {
-                BasicFileAttributes attributes = Files.readAttributes(file, BasicFileAttributes.class);
-                return Optional.of(new FileStamp(
-                        attributes.lastModifiedTime(), attributes.size(), String.valueOf(attributes.fileKey())));
-            } catch (IOException e) {
-                return Optional.empty(); // there is no such file now
-            }
-        }
-    }
-
-    private static final int MAX_LOGGED_FAULTS = 20;
     private static final long POLL_INTERVAL_NS = 500 * Clock.MILLISECOND_NS;
 
     private ReloadTrigger() {}
@@ -55,14 +27,14 @@
     /**
      * Installs the handler.
      *
-     * @param applier runs what applies a configuration that could be read
-     * @param files those that the reader reads
+     * @param reload reads the configuration again; called on any thread
+     * @param files those that are polled, before they were read
      */
-    static void install(Reader reader, Consumer<Runnable> applier, List<Path> files) {
+    static void install(Runnable reload, FileStamps files) {
         try {
-            if (!handleHangUp(reader, applier)) {
+            if (!handleHangUp(reload)) {
                 LOG.warn("reload.signal_ignored", field("poll_interval_ms", POLL_INTERVAL_NS / Clock.MILLISECOND_NS));
-                Thread poller = new Thread(() -> poll(reader, applier, files), "reload");
+                Thread poller = new Thread(() -> poll(reload, files), "reload");
                 poller.setDaemon(true);
                 poller.start();
             }
@@ -74,12 +46,12 @@
     /**
      * Installs a handler for SIGHUP; false where the signal was ignored at the start, and the handler is never called.
      */
-    private static boolean handleHangUp(Reader reader, Consumer<Runnable> applier) throws ReflectiveOperationException {
+    private static boolean handleHangUp(Runnable reload) throws ReflectiveOperationException {
         Class<?> signalType = Class.forName("sun.misc.Signal");
         Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
         InvocationHandler onCall = (proxy, method, args) -> {
             if (method.getName().equals("handle")) {
-                reload(reader, applier);
+                reload.run();
             }
             return null;
         };
@@ -91,35 +63,15 @@
     }
 
     /** Never returns. A file that is half written can't be used, and will have changed again by the next look. */
-    private static void poll(Reader reader, Consumer<Runnable> applier, List<Path> files) {
-        List<Optional<FileStamp>> known = stamps(files);
+    private static void poll(Runnable reload, FileStamps files) {
+        FileStamps known = files;
         while (true) {
             LockSupport.parkNanos(POLL_INTERVAL_NS);
-            List<Optional<FileStamp>> current = stamps(files);
-            if (!current.equals(known)) {
+            FileStamps current = known.again();
+            if (!current.isUnchangedSince(known)) {
                 known = current;
-                reload(reader, applier);
+                reload.run();
             }
         }
     }
-
-    private static List<Optional<FileStamp>> stamps(List<Path> files) {
-        List<Optional<FileStamp>> stamps = new ArrayList<>();
-        for (Path file : files) {
-            stamps.add(FileStamp.of(file));
-        }
-        return stamps;
-    }
-
-    /** One at a time: each signal has a thread of its own. */
-    private static synchronized void reload(Reader reader, Consumer<Runnable> applier) {
-        try {
-            applier.accept(reader.read());
-        } catch (IOException | RuntimeException e) { // whatever is wrong with the new one, the old one stays
-            String.valueOf(e.getMessage())
-                    .lines()
-                    .limit(MAX_LOGGED_FAULTS)
-                    .forEach(fault -> LOG.warn("reload.rejected", field("fault", fault)));
-        }
-    }
 }
--- a/src/main/java/elderseam/app/TransferableDispatcher.java
+++ b/src/main/java/elderseam/app/TransferableDispatcher.java
@@ -39,6 +39,7 @@
     private final ListenerGroup listeners;
     private final FleetServices fleet;
     private final EventIntake events;
+    private final ConfigurationReloads reloads;
     private SuccessorProxy successor; // null while this process serves
     private BooleanSupplier resultsSent;
     private long exitDeadlineNs;
@@ -52,7 +53,8 @@
             Lifecycle lifecycle,
             ListenerGroup listeners,
             FleetServices fleet,
-            EventIntake events) {
+            EventIntake events,
+            ConfigurationReloads reloads) {
         this.io = io;
         this.dispatcher = dispatcher;
         this.frontend = frontend;
@@ -62,6 +64,7 @@
         this.listeners = listeners;
         this.fleet = fleet;
         this.events = events;
+        this.reloads = reloads;
     }
 
     /** A client's request: served here, or forwarded once another process has the work. */
@@ -83,7 +86,10 @@
         endpointConnections.closeIdle();
         fleet.leave();
         return new HandoverFrame.StateTransfer(
-                discovery.encodedList(), dispatcher.handover().transferTo(onAttemptEnded), lifecycle.isDraining());
+                discovery.encodedList(),
+                dispatcher.handover().transferTo(onAttemptEnded),
+                lifecycle.isDraining(),
+                reloads.current());
     }
 
     @Override
@@ -98,6 +104,7 @@
         SuccessorProxy suspended = successor;
         successor = null;
         dispatcher.handover().rollBack(endedAttempts);
+        reloads.resumed();
         frontend.resumeNotifications();
         discovery.resume();
         suspended.handleQueuedLocally(frontend::handle);
--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -103,6 +103,11 @@
         }
     }
 
+    /** The address of discovery. */
+    public EndpointAddress address() {
+        return discovery;
+    }
+
     /** The current list, in discovery's format. */
     public String encodedList() {
         return endpoints.encode(version);
--- a/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformConfiguration.java
@@ -35,7 +35,9 @@
         ResourceLimits limits,
         SettingsMap settings,
         JsonValue cachedEndpointList) {
-    private static final String FILE_VARIABLE = "RELAY_CONFIG";
+    /** The environment variable with the path of the configuration file. */
+    public static final String FILE_VARIABLE = "RELAY_CONFIG";
+
     private static final double DEFAULT_DISK_MB = 3;
     private static final double BYTES_PER_MB = 1_000_000;
     private static final long DEFAULT_DESCRIPTORS = 1_024;
--- a/src/main/java/elderseam/handover/HandoverFrame.java
+++ b/src/main/java/elderseam/handover/HandoverFrame.java
@@ -17,8 +17,32 @@
      * @param endpointList the endpoint list, as JSON in discovery's format
      * @param state what the policy has learned, and the attempts in flight
      * @param draining whether an operator's drain (LAMEDUCK) is in effect
+     * @param configuration what the older process acts on
      */
-    record StateTransfer(String endpointList, Handover.State state, boolean draining) implements HandoverFrame {}
+    record StateTransfer(
+            String endpointList, Handover.State state, boolean draining, ConfigurationReading configuration)
+            implements HandoverFrame {
+        /** A transfer by a release that does not tell its configuration. */
+        public StateTransfer(String endpointList, Handover.State state, boolean draining) {
+            this(endpointList, state, draining, ConfigurationReading.UNKNOWN);
+        }
+    }
+
+    /**
+     * A reading of the configuration that a process acts on.
+     *
+     * @param discoveryAddress host and port of discovery; empty if unknown
+     * @param ageNs how long ago it was read, in nanoseconds
+     */
+    record ConfigurationReading(String discoveryAddress, long ageNs) {
+        /** Of a process that does not tell. */
+        public static final ConfigurationReading UNKNOWN = new ConfigurationReading("", Long.MAX_VALUE);
+
+        /** Whether the process told what it acts on. */
+        public boolean isKnown() {
+            return !discoveryAddress.isEmpty();
+        }
+    }
 
     /** Newer to older process: the newer one holds the ownership lock and decides from now on. */
     record OwnershipConfirmed() implements HandoverFrame {}
--- a/src/main/java/elderseam/handover/HandoverFrameCodec.java
+++ b/src/main/java/elderseam/handover/HandoverFrameCodec.java
@@ -121,6 +121,22 @@
             out.writeUTF(attempt.endpoint());
             out.writeLong(attempt.ageNs());
         }
+        writeConfiguration(out, transfer.configuration());
+    }
+
+    /** Earlier releases send nothing here, and ignore it. */
+    private static void writeConfiguration(DataOutputStream out, HandoverFrame.ConfigurationReading configuration)
+            throws IOException {
+        if (configuration.isKnown()) {
+            out.writeUTF(configuration.discoveryAddress());
+            out.writeLong(configuration.ageNs());
+        }
+    }
+
+    private static HandoverFrame.ConfigurationReading readConfiguration(DataInputStream in) throws IOException {
+        return in.available() == 0
+                ? HandoverFrame.ConfigurationReading.UNKNOWN
+                : new HandoverFrame.ConfigurationReading(in.readUTF(), in.readLong());
     }
 
     private static HandoverFrame.StateTransfer readStateTransfer(DataInputStream in) throws IOException {
@@ -131,7 +147,8 @@
         for (int remaining = in.readInt(); remaining > 0; remaining--) {
             attempts.add(new Handover.InFlightAttempt(in.readUTF(), in.readInt(), in.readUTF(), in.readLong()));
         }
-        return new HandoverFrame.StateTransfer(endpointList, new Handover.State(learned, attempts), draining);
+        return new HandoverFrame.StateTransfer(
+                endpointList, new Handover.State(learned, attempts), draining, readConfiguration(in));
     }
 
     private static void writeCompletedAttempt(DataOutputStream out, Handover.ForwardedOutcome attempt)
--- a/src/test/java/elderseam/scenario/Scenario.java
+++ b/src/test/java/elderseam/scenario/Scenario.java
@@ -24,7 +24,7 @@
  * hN         an upstream host; odd N serve destination 1, even N destination 2
  * platform   discovery and the place for notices; it answers by itself: 204, and the watch
  * relay      the program
- * older      the process before, after "relay wait beside": close kill, close term, wait exit CODE
+ * older      the process before, after "relay wait beside": close kill, close term, wait exit CODE, expect and hangup as relay
  * operator   calls on the second address
  * any other  a client's connection; one whose name begins with e goes to the CloudEvents front
  *
@@ -41,7 +41,8 @@
  * pause      relay: SIGSTOP, until it stands; resume: SIGCONT
  * hangup     relay: SIGHUP, with a configuration that names where the platform is, or with a file of these words
  * expect     relay: a line of its log, of this start and not passed over yet, holds these parts (set apart by " ... ")
- *            relay: beside (another process on the same folder and address has taken over; this one is "older" from then on)
+ *            relay: warming (another process on the same folder has read its configuration, and has not asked for the work
+ *            yet: it stands until resume; this one is "older" from then on); beside (another process on the same folder and address has taken over; this one is "older" from then on)
  * ask        operator: this line on the second address -> what the answer holds, each of these parts (set apart by ;)
  * wait       operator: as ask, again and again until the answer holds that
  * wait       for: closed [MS] (the other side ends the connection, within that), quiet MS (nothing comes there), start, drain (begun),
@@ -134,7 +135,7 @@
     private void step(String party, String verb, String words) throws Exception {
         switch (party) {
             case "relay" -> stepOfProgram(verb, words);
-            case "older" -> older.step(verb, words);
+            case "older" -> stepOfOlder(verb, words);
             case "operator" -> ask(words, verb.equals("wait"));
             case "platform" -> platform.step(verb, words);
             default -> {
@@ -160,6 +161,17 @@
         }
     }
 
+    private void stepOfOlder(String verb, String words) throws IOException, InterruptedException {
+        switch (verb) {
+            case "hangup" -> {
+                reconfigure(words);
+                older.signal("HUP");
+            }
+            case "expect" -> older.expectLogLine(words);
+            default -> older.step(verb, words);
+        }
+    }
+
     private void reconfigure(String words) throws IOException {
         if (words.isEmpty()) {
             launcher.configure(platform.address());
@@ -172,6 +184,7 @@
         switch (verb + " " + words) {
             case "wait start" -> start();
             case "wait beside" -> startBeside();
+            case "wait warming" -> startWarming();
             case "wait drain" -> program.await(Milestone.DRAINING);
             case "wait reload" -> program.await(Milestone.RELOADED);
             case "wait kept" -> program.await(Milestone.RELOAD_REJECTED);
@@ -186,6 +199,14 @@
         program.await(Milestone.CLIENTS_LISTENING);
     }
 
+    /** Starts a process beside the present one, and stops it where it has read its configuration. */
+    private void startWarming() throws IOException, InterruptedException {
+        older = program;
+        program = launcher.launch(platform.address(), line -> timeline.record("program", line));
+        program.expectLogLine("handover.warmup_started");
+        program.pauseByScript();
+    }
+
     /** Asks on the control address: {@code LINE -> PARTS}; again and again until the answer holds the parts, if so told. */
     private void ask(String words, boolean until) throws IOException {
         String[] lineAndParts = words.split("->");
