Certificates: what is stored is served before the authority or the fleet is asked

What callers saw: a process that starts while the ACME authority is unreachable and a renewal is due opens no listener for events, though its certificate is valid.

Cause: CertificateManager.keepCurrent took over others' certificates, read the chain, asked the fleet who orders, and ordered, before it delivered what is stored; each of these can throw or wait. A stored file that can't be read ended every check, so that nothing was ordered either.

Change: each check begins with serveStored, and goes on to bundles, fleet and order, with serveStored after each. A listener whose address is taken is tried again each second: a context is delivered once.

A bundle of another member that can't be used is discarded as before, but hinders no order; one that can't be stored is looked at again. Nothing is delayed.

--- a/src/main/java/elderseam/acme/CertificateBundle.java
+++ b/src/main/java/elderseam/acme/CertificateBundle.java
@@ -40,10 +40,14 @@
     /**
      * The bundle of such JSON.
      *
-     * @throws IOException if the bytes are not a bundle
+     * @throws IllegalArgumentException if the bytes are not a bundle
      */
-    static CertificateBundle decode(byte[] bytes) throws IOException {
-        return JSON.readValue(bytes, CertificateBundle.class);
+    static CertificateBundle decode(byte[] bytes) {
+        try {
+            return JSON.readValue(bytes, CertificateBundle.class);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("no bundle: " + e.getMessage(), e);
+        }
     }
 
     /** The certificates of PEM text, the one that is served first. */
@@ -60,20 +64,47 @@
     /** Why this can't be served for these names now; empty where it can. */
     Optional<String> findFault(Collection<String> names, Instant now) {
         try {
-            List<X509Certificate> certificates = certificates();
-            KeyPair pair = KeyPairUtils.readKeyPair(new StringReader(key));
-            if (certificates.isEmpty() || !certificates.get(0).getPublicKey().equals(pair.getPublic())) {
-                return Optional.of("its chain is not its key's");
-            }
-            X509Certificate served = certificates.get(0);
+            X509Certificate served = parsed().certificate();
             Set<String> certified = dnsNames(served);
             if (!certified.containsAll(names)) {
                 return Optional.of("it is for " + certified + ", not for " + names);
             }
             Instant end = served.getNotAfter().toInstant();
             return now.isBefore(end) ? Optional.empty() : Optional.of("it ended at " + end);
-        } catch (GeneralSecurityException | IOException | RuntimeException e) { // the libraries throw any for bad bytes
-            return Optional.of("it can't be read: " + e.getMessage());
+        } catch (GeneralSecurityException | IllegalArgumentException e) {
+            return Optional.of(String.valueOf(e.getMessage()));
+        }
+    }
+
+    /**
+     * The key pair and the chain.
+     *
+     * @throws IllegalArgumentException if one can't be read, or they do not belong together
+     */
+    ServedCertificate parsed() {
+        ServedCertificate parsed;
+        try {
+            parsed = new ServedCertificate(parseKey(key), certificates());
+        } catch (GeneralSecurityException e) {
+            throw new IllegalArgumentException("its chain can't be read: " + e.getMessage(), e);
+        }
+        if (parsed.chain().isEmpty()
+                || !parsed.certificate().getPublicKey().equals(parsed.key().getPublic())) {
+            throw new IllegalArgumentException("its chain is not its key's");
+        }
+        return parsed;
+    }
+
+    /**
+     * The key pair of PEM text.
+     *
+     * @throws IllegalArgumentException if it can't be read
+     */
+    static KeyPair parseKey(String pem) {
+        try {
+            return KeyPairUtils.readKeyPair(new StringReader(pem));
+        } catch (IOException | RuntimeException e) { // the library throws any for bad text
+            throw new IllegalArgumentException("its key can't be read: " + e.getMessage(), e);
         }
     }
 
--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -75,7 +75,7 @@
 
     // Of the manager's thread alone:
     private byte[] lastSharedBundle = NO_BUNDLE; // that this member published or took over
-    private boolean contextDelivered;
+    private X509Certificate served; // null before the first
     private ScheduledFuture<?> nextCheck;
 
     /** Certificates that each member orders for itself: {@link #CertificateManager(String, List, Path, Consumer, SharedCertificateOrder)}. */
@@ -137,13 +137,21 @@
         return challengeAnswers.forPath(path).isPresent();
     }
 
-    /** Does what is due, and schedules itself anew. */
+    /**
+     * Serves what is stored, before anything that an outside system could fail or hold up; then does what is due, and
+     * schedules itself anew.
+     */
     private void check() {
         Instant nextCheckAt = Instant.now().plus(RETRY_DELAY);
         try {
-            List<X509Certificate> chain = keepCurrent();
-            nextCheckAt = fleet != null ? Instant.now().plus(FLEET_CHECK_INTERVAL) : renewalOf(chain.get(0));
-            publish(chain);
+            serveStored();
+            Optional<ServedCertificate> current = keepCurrent();
+            if (current.isPresent()) {
+                nextCheckAt = fleet != null ? Instant.now().plus(FLEET_CHECK_INTERVAL) : renewalOf(current.get());
+                publish(current.get());
+            } else if (fleet != null) {
+                nextCheckAt = Instant.now().plus(FLEET_CHECK_INTERVAL);
+            }
         } catch (AcmeException | IOException | GeneralSecurityException | RuntimeException e) {
             LOG.warn("certificate.update_failed", error(e));
         } catch (InterruptedException e) {
@@ -153,21 +161,26 @@
         nextCheck = thread.schedule(this::check, Math.max(MIN_CHECK_DELAY_MS, delayMs), TimeUnit.MILLISECONDS);
     }
 
-    /** Takes over or orders a certificate that is due, delivers a new one, and returns its chain; empty where there is none. */
-    private List<X509Certificate> keepCurrent()
+    /** Delivers the stored certificate if it is not the one that is served already, and returns it. */
+    private Optional<ServedCertificate> serveStored() throws IOException, GeneralSecurityException {
+        Optional<ServedCertificate> stored = store.certificate();
+        if (stored.isPresent() && !stored.get().certificate().equals(served)) {
+            onContext.accept(stored.get().sslContext());
+            served = stored.get().certificate();
+        }
+        return stored;
+    }
+
+    /** Takes over or orders a certificate that is due, and returns the one that is served; empty where there is none. */
+    private Optional<ServedCertificate> keepCurrent()
             throws AcmeException, IOException, GeneralSecurityException, InterruptedException {
-        boolean isNew = takeOver();
-        List<X509Certificate> chain = store.chain();
-        if (isOrderDue(chain)) {
+        takeOver();
+        Optional<ServedCertificate> current = serveStored();
+        if (isOrderDue(current)) {
             takeOverOrOrder();
-            chain = store.chain();
-            isNew = true;
+            current = serveStored();
         }
-        if (!chain.isEmpty() && (isNew || !contextDelivered)) {
-            onContext.accept(store.sslContext(chain));
-            contextDelivered = true;
-        }
-        return chain;
+        return current;
     }
 
     /**
@@ -193,32 +206,46 @@
         }
     }
 
-    private boolean isOrderDue(List<X509Certificate> chain) {
+    private boolean isOrderDue(Optional<ServedCertificate> current) {
         Instant now = Instant.now();
-        Instant dueAt = chain.isEmpty() ? startedAt : renewalOf(chain.get(0));
-        return !now.isBefore(dueAt) && (fleet == null || fleet.isOrderedHere(now, dueAt, ownOrderAt(dueAt, chain)));
+        Instant dueAt = current.map(CertificateManager::renewalOf).orElse(startedAt);
+        return !now.isBefore(dueAt) && (fleet == null || fleet.isOrderedHere(now, dueAt, ownOrderAt(dueAt, current)));
     }
 
     /** From when on this member does not wait for another's order any more. */
-    private Instant ownOrderAt(Instant dueAt, List<X509Certificate> chain) {
-        if (chain.isEmpty()) {
+    private Instant ownOrderAt(Instant dueAt, Optional<ServedCertificate> current) {
+        if (current.isEmpty()) {
             return startedAt.plus(FIRST_CERTIFICATE_PATIENCE);
         }
-        Instant end = chain.get(0).getNotAfter().toInstant();
+        Instant end = current.get().certificate().getNotAfter().toInstant();
         return dueAt.plus(Duration.between(dueAt, end).dividedBy(2));
     }
 
-    /** Takes over the first received bundle that is new; the next check looks at those behind it. */
+    /**
+     * Takes over the first received bundle that is new; the next check looks at those behind it. One that can't be used
+     * hinders nothing; one that can't be stored now is looked at again.
+     */
     private boolean takeOver() throws IOException, GeneralSecurityException {
         for (byte[] bytes = receivedBundles.poll(); bytes != null; bytes = receivedBundles.poll()) {
-            if (takeOver(bytes)) {
-                return true;
+            try {
+                if (takeOver(bytes)) {
+                    return true;
+                }
+            } catch (IllegalArgumentException e) {
+                LOG.warn("certificate.received_unusable", error(e));
+            } catch (IOException e) {
+                receivedBundles.add(bytes);
+                throw e;
             }
         }
         return false;
     }
 
-    /** Stores the bundle if it is newer than the stored one and can be served; returns whether it did. */
+    /**
+     * Stores the bundle if it is newer than the stored one; returns whether it did.
+     *
+     * @throws IllegalArgumentException if it can't be served
+     */
     private boolean takeOver(byte[] bytes) throws IOException, GeneralSecurityException {
         if (Arrays.equals(bytes, lastSharedBundle)) {
             return false;
@@ -226,11 +253,12 @@
         CertificateBundle bundle = CertificateBundle.decode(bytes);
         Optional<String> fault = bundle.findFault(names, Instant.now());
         if (fault.isPresent()) {
-            throw new IOException("the one that was passed on: " + fault.get());
+            throw new IllegalArgumentException("the one that was passed on: " + fault.get());
         }
-        List<X509Certificate> own = store.chain();
-        if (!own.isEmpty()
-                && !bundle.notBefore().isAfter(own.get(0).getNotBefore().toInstant())) {
+        Optional<ServedCertificate> own = store.certificate();
+        if (own.isPresent()
+                && !bundle.notBefore()
+                        .isAfter(own.get().certificate().getNotBefore().toInstant())) {
             return false;
         }
         store.replace(bundle);
@@ -240,8 +268,8 @@
     }
 
     /** Publishes the stored certificate for the other members, once, even if it is from before the fleet. */
-    private void publish(List<X509Certificate> chain) throws IOException {
-        if (fleet == null || chain.isEmpty() || !Instant.now().isBefore(renewalOf(chain.get(0)))) {
+    private void publish(ServedCertificate current) throws IOException {
+        if (fleet == null || !Instant.now().isBefore(renewalOf(current))) {
             return;
         }
         byte[] bytes = store.bundle().encoded();
@@ -250,7 +278,8 @@
         }
     }
 
-    private static Instant renewalOf(X509Certificate certificate) {
+    private static Instant renewalOf(ServedCertificate served) {
+        X509Certificate certificate = served.certificate();
         Instant begin = certificate.getNotBefore().toInstant();
         Instant end = certificate.getNotAfter().toInstant();
         return end.minus(Duration.between(begin, end).dividedBy(RENEWAL_DIVISOR));
--- a/src/main/java/elderseam/acme/CertificateOrder.java
+++ b/src/main/java/elderseam/acme/CertificateOrder.java
@@ -102,9 +102,19 @@
         requireStatus(Status.VALID, order.waitForCompletion(timeLeft()));
         StringWriter chain = new StringWriter();
         order.getCertificate().writeCertificate(chain);
+        requireServable(chain.toString());
         store.saveChain(chain.toString());
     }
 
+    /** Whatever the authority sends, the certificate that is held stays until another can be served. */
+    private void requireServable(String chain) throws AcmeException, IOException {
+        try {
+            store.bundleWith(chain).parsed();
+        } catch (IllegalArgumentException e) {
+            throw new AcmeException("the certificate that the authority sent can't be served: " + e.getMessage(), e);
+        }
+    }
+
     private Duration timeLeft() {
         return Duration.between(Instant.now(), openOrderDeadline);
     }
--- a/src/main/java/elderseam/app/CloudEventsSetup.java
+++ b/src/main/java/elderseam/app/CloudEventsSetup.java
@@ -39,6 +39,8 @@
 
     private static final long CHALLENGE_CHECK_INTERVAL_NS = 50 * Clock.MILLISECOND_NS;
 
+    private static final long LISTEN_RETRY_NS = 1_000 * Clock.MILLISECOND_NS;
+
     private final IoLoop io;
     private final EventConfiguration events;
     private final ResourceLimits limits;
@@ -46,6 +48,7 @@
     private final ListenerGroup listeners;
     private final LeasedCertificateOrder certificateOrder; // null where each member orders its own
     private HttpServer secureListener; // null until the first certificate
+    private SSLContext latestContext; // null until the first certificate
 
     /**
      * Registers the frontend with the dispatcher; {@link #openListeners} follows.
@@ -157,14 +160,24 @@
 
     /** The events' listener opens with its first certificate, and gets each later one. */
     private void useCertificate(int maxClients, SSLContext context) {
+        latestContext = context;
+        if (secureListener == null) {
+            openSecureListener(maxClients);
+        } else {
+            secureListener.updateCertificate(context);
+        }
+    }
+
+    /** Tries again where another process still has the address: no later certificate may come for months. */
+    private void openSecureListener(int maxClients) {
+        if (secureListener != null) {
+            return;
+        }
         try {
-            if (secureListener == null) {
-                secureListener = openEventListener(maxClients, context);
-            } else {
-                secureListener.updateCertificate(context);
-            }
+            secureListener = openEventListener(maxClients, latestContext);
         } catch (IOException e) {
             LOG.error("cloudevents.listen_failed", error(e));
+            io.at(io.clock.now() + LISTEN_RETRY_NS, () -> openSecureListener(maxClients));
         }
     }
 
