Order trial: upgrades in which discovery moves, and senders of events who ask again

It checks that no event takes effect twice, that none which was refused takes effect, and that each gets its outcome. MovingPlatform has what OrderTrial had of the configuration; Soak the loop of both mains.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint format style run figures bench engines fuzz long order
+.PHONY: build test lint format style run figures bench engines fuzz long order upgrades
 
 build:
 	mvn -q -B -DskipTests package
@@ -47,8 +47,11 @@
 long:
 	mvn -q -B test -Dtest=DifferentialTest -Drules.cases=100000
 
-# Runs of the order trial with faults from the seeds FIRST to LAST; some 15 s each.
+# Runs of the order trial with faults from the seeds FIRST to LAST; some 15 s each. upgrades: with moves of discovery and events.
 FIRST = 1
 LAST = 50
 order: build
 	java -cp target/classes:$$(ls target/lib/*.jar | tr '\n' ':') elderseam.testkit.ordering.OrderSoak $(FIRST) $(LAST)
+
+upgrades: build
+	java -cp target/classes:$$(ls target/lib/*.jar | tr '\n' ':') elderseam.testkit.ordering.UpgradeSoak $(FIRST) $(LAST)
--- a/src/main/java/elderseam/testkit/ordering/LoopbackServer.java
+++ b/src/main/java/elderseam/testkit/ordering/LoopbackServer.java
@@ -60,6 +60,11 @@
         }
     }
 
+    /** Accepts no further connections; open ones are served on. */
+    void stopAccepting() throws IOException {
+        listener.close();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -2,17 +2,22 @@
 
 import elderseam.testkit.ordering.OrderTrial.Action;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 /**
  * Plays one run for each seed of a range, with load, surroundings and a series of signals drawn from the seed, and prints
  * what broke. Exits with 1 where anything did.
  */
 public final class OrderSoak {
+    /** What a series is drawn from: all actions but upgrades in which discovery moves, which {@link UpgradeSoak} plays. */
+    private static final List<Action> ACTIONS = Stream.of(Action.values())
+            .filter(action -> action != Action.HAND_OVER_AND_MOVE)
+            .toList();
+
     private static final int MIN_ACTIONS = 3;
     private static final int MAX_ACTIONS = 8;
     private static final int UNLIMITED = 100_000;
@@ -26,24 +31,7 @@
 
     /** {@code FIRST-SEED LAST-SEED [FOLDER]}; a temporary folder unless told. */
     public static void main(String[] arguments) throws IOException, InterruptedException {
-        if (arguments.length < 2 || arguments.length > 3) {
-            System.err.println("usage: OrderSoak FIRST-SEED LAST-SEED [FOLDER]");
-            System.exit(2);
-        }
-        long first = Long.parseLong(arguments[0]);
-        long last = Long.parseLong(arguments[1]);
-        Path folder = arguments.length > 2 ? Path.of(arguments[2]) : Files.createTempDirectory("elderseam-order");
-        int broken = 0;
-        for (long seed = first; seed <= last; seed++) {
-            Path own = Files.createDirectories(folder.resolve("seed-" + seed));
-            OrderTrial.Result result = play(own, seed);
-            System.out.println("seed " + seed + " " + actions(seed) + " " + result);
-            result.violations().stream().limit(10).forEach(violation -> System.out.println("  " + violation));
-            result.evidence().forEach(line -> System.out.println("    " + line));
-            broken += result.violations().isEmpty() ? 0 : 1;
-        }
-        System.out.println((last - first + 1) + " seeds, " + broken + " with violations");
-        System.exit(broken == 0 ? 0 : 1); // threads of the stand-ins run on
+        new Soak(OrderSoak::play, OrderSoak::actions).run(arguments);
     }
 
     /** Plays the run of one seed. */
@@ -104,7 +92,7 @@
         List<Action> actions = new ArrayList<>();
         int count = random.nextInt(MIN_ACTIONS, MAX_ACTIONS + 1);
         for (int i = 0; i < count; i++) {
-            actions.add(Action.values()[random.nextInt(Action.values().length)]);
+            actions.add(ACTIONS.get(random.nextInt(ACTIONS.size())));
         }
         return actions;
     }
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -3,20 +3,25 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Plays one run: starts everything, carries out the signals in their order, lets the rest end, and checks the history. */
 public final class OrderTrial implements AutoCloseable {
     private static final int LISTEN_PORT = 8443;
+    private static final int EVENTS_PORT = 8444;
+    /** Discovery moves at most so long after the newer process of an upgrade was started, ready or not. */
+    private static final int MAX_MOVE_DELAY_MS = 1_500;
+
     /** SIGKILL comes so long after SIGTERM, where the process has not ended by itself. */
     private static final long TERM_GRACE_MS = 3_700;
 
@@ -52,7 +57,9 @@
         /** The wall clock is stepped back by an hour. */
         STEP_CLOCK_BACK,
         /** The wall clock is stepped by some seconds, either way. */
-        STEP_CLOCK_BY_SECONDS
+        STEP_CLOCK_BY_SECONDS,
+        /** A second process takes over; meanwhile discovery moves, and the older process gets SIGHUP, if it still lives. */
+        HAND_OVER_AND_MOVE
     }
 
     /**
@@ -60,6 +67,7 @@
      *
      * @param evidence what the log tells of the messages that broke a rule, and of stalls; empty if none did
      * @param waits that endpoints asked for
+     * @param eventsAnswered events that got their outcome
      */
     public record Result(
             List<String> violations,
@@ -68,14 +76,20 @@
             int accepted,
             int delivered,
             int notified,
-            List<OrderHistory.Wait> waits) {
+            List<OrderHistory.Wait> waits,
+            int eventsAnswered) {
         @Override
         public String toString() {
             return "handed_in=" + handedIn + " accepted=" + accepted + " delivered=" + delivered + " notified="
-                    + notified + " waits=" + waits.size() + " violations=" + violations.size();
+                    + notified + " waits=" + waits.size() + " events=" + eventsAnswered + " violations="
+                    + violations.size();
         }
     }
 
+    /** Actions during which a process that lives on does not act for a while. */
+    private static final Set<Action> UNREADY_ACTIONS =
+            EnumSet.of(Action.PAUSE, Action.HAND_OVER, Action.HAND_OVER_AND_MOVE);
+
     private final SplittableRandom random;
     private final OrderHistory history = new OrderHistory();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -88,9 +102,12 @@
     private final long start = System.nanoTime();
     private final RestartWindows restarts = new RestartWindows();
     private final ProcessLog log;
+    private final MovingPlatform platforms;
+    private final EventTraffic events; // null where there are no senders
     private ServedProcess process;
+    private ServedProcess older; // of the last upgrade; null before
 
-    private OrderTrial(Path folder, long seed, TrialSurroundings surroundings)
+    private OrderTrial(Path folder, long seed, TrialLoad load, TrialSurroundings surroundings)
             throws IOException, InterruptedException {
         this.random = new SplittableRandom(seed);
         log = new ProcessLog(folder.resolve("dispatcher.log"), start);
@@ -101,20 +118,20 @@
         });
         dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
         CopiedAnswers copies = startCopies(surroundings, seed);
-        RecordingPlatform platform = new RecordingPlatform(
-                own,
-                history,
-                random.split(),
-                surroundings.notificationDelayMs(),
-                surroundings.refusedNotificationRatio(),
-                copies);
-        open.add(platform);
-        String list = startEndpoints(own, surroundings, copies, new SplittableRandom(~seed));
-        platform.setList(list);
-        settingsFile = folder.resolve("elderseam.ini");
-        Files.writeString(settingsFile, "");
-        Path configuration = folder.resolve("config.json");
-        Files.writeString(configuration, configuration(platform.address(), list, surroundings.destinations() > 1));
+        platforms = new MovingPlatform(own, history, surroundings, copies, folder.resolve("config.json"));
+        open.add(platforms);
+        platforms.open(random.split());
+        InetSocketAddress eventsAddress = new InetSocketAddress(own, EVENTS_PORT);
+        events = load.eventSenders() == 0 ? null : new EventTraffic(own, eventsAddress, new SplittableRandom(seed));
+        List<String> entries = startEndpoints(own, surroundings, copies, new SplittableRandom(~seed));
+        String settings = "";
+        if (events != null) {
+            open.add(events);
+            entries.add(listEntry("events", EventTraffic.destination(), events.address()));
+            settings = "[events]\nlisten = " + own.getHostAddress() + ":" + EVENTS_PORT + "\nremember_s = 600\n";
+        }
+        settingsFile = Files.writeString(folder.resolve("elderseam.ini"), settings);
+        platforms.setEndpoints(entries);
         clock = SteppedClock.build(folder);
         variables = new HashMap<>(Map.of(
                 "RELAY_NAME",
@@ -122,11 +139,11 @@
                 "RELAY_LISTEN",
                 own.getHostAddress() + ":" + LISTEN_PORT,
                 "RELAY_DISCOVERY",
-                platform.address(),
+                platforms.address(),
                 "RELAY_STATE",
                 folder.resolve("state").toString(),
                 "RELAY_CONFIG",
-                configuration.toString(),
+                platforms.configurationFile().toString(),
                 "RELAY_CONTROL",
                 own.getHostAddress() + ":0"));
         clock.ifPresent(stepped -> variables.putAll(stepped.environment()));
@@ -138,8 +155,8 @@
         return copies;
     }
 
-    /** Starts the endpoints; the list that names them. */
-    private String startEndpoints(
+    /** Starts the endpoints; their entries in the list. */
+    private List<String> startEndpoints(
             InetAddress address, TrialSurroundings surroundings, CopiedAnswers copies, SplittableRandom forRejections)
             throws IOException {
         List<String> entries = new ArrayList<>();
@@ -152,7 +169,7 @@
             open.add(endpoint);
             entries.add(listEntry("s" + i, destination, endpoint.address()));
         }
-        return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+        return entries;
     }
 
     private static String listEntry(String id, int destination, String address) {
@@ -160,16 +177,6 @@
                 + destination + ",\"state\":\"SERVING\",\"weight\":1.0,\"started_ms\":0}";
     }
 
-    private static String configuration(String platformAddress, String list, boolean sharedBreakers)
-            throws IOException {
-        String settings = new String(
-                        OrderTrial.class.getResourceAsStream("settings.json").readAllBytes(), StandardCharsets.UTF_8)
-                .replace("\"kindApart\":[true]", "\"kindApart\":[" + !sharedBreakers + "]");
-        return "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + platformAddress
-                + "\",\"limits\":{\"sockets\":256,\"memory_mb\":64,\"disk_mb\":3},\"known\":" + list + ",\"settings\":"
-                + settings + "}";
-    }
-
     /**
      * Plays a run.
      *
@@ -179,7 +186,7 @@
     public static Result play(
             Path folder, long seed, TrialLoad load, TrialSurroundings surroundings, List<Action> actions)
             throws IOException, InterruptedException {
-        try (OrderTrial trial = new OrderTrial(folder, seed, surroundings)) {
+        try (OrderTrial trial = new OrderTrial(folder, seed, load, surroundings)) {
             trial.process = trial.startProcess();
             ServedProcess.awaitReady(trial.dispatcherAddress);
             trial.startClients(load, surroundings.destinations());
@@ -200,6 +207,9 @@
     }
 
     private void startClients(TrialLoad load, int destinations) {
+        if (events != null) {
+            events.start(load.eventSenders());
+        }
         for (int i = 0; i < load.keys(); i++) {
             TrialClass messageClass = i % 2 == 0 ? TrialClass.ORDERED_ONCE : TrialClass.ORDERED_REPEATABLE;
             startClient("k" + i, messageClass, 1 + i % destinations, load);
@@ -224,7 +234,7 @@
         long signalled = System.nanoTime();
         log.append("action " + action);
         boolean restarted = doTo(action);
-        if (restarted || action == Action.PAUSE || action == Action.HAND_OVER) {
+        if (restarted || UNREADY_ACTIONS.contains(action)) {
             restarts.add(signalled, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_GRACE_MS));
         }
     }
@@ -239,7 +249,8 @@
                     process.kill();
                 }
             }
-            case HAND_OVER -> handOver();
+            case HAND_OVER -> handOver(() -> {});
+            case HAND_OVER_AND_MOVE -> handOver(this::moveDiscovery);
             case HANG_UP -> process.signal("HUP");
             case PAUSE -> {
                 process.signal("STOP");
@@ -261,9 +272,23 @@
         return true;
     }
 
-    private void handOver() throws IOException, InterruptedException {
-        ServedProcess older = process;
+    /** Something that is done between two steps of an action. */
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** The new configuration is there before the signal. */
+    private void moveDiscovery() throws IOException, InterruptedException {
+        Thread.sleep(random.nextInt(MAX_MOVE_DELAY_MS));
+        log.append("discovery moves");
+        platforms.move(random.split());
+        older.signal("HUP");
+    }
+
+    private void handOver(Step meanwhile) throws IOException, InterruptedException {
+        older = process;
         process = startProcess();
+        meanwhile.run();
         if (!older.endsWithin(HANDOVER_LIMIT_MS)) {
             older.kill();
         }
@@ -291,6 +316,9 @@
         for (Thread thread : clientThreads) {
             thread.join();
         }
+        if (events != null) {
+            events.finish();
+        }
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(load.maxRemainingMs() + SETTLE_MS);
         while (!history.isSettled() && System.nanoTime() < deadline) {
             Thread.sleep(50);
@@ -316,6 +344,9 @@
                 }));
         List<String> violations = checker.check(history);
         violations.addAll(new WaitChecker(restarts, start).check(history));
+        if (events != null) {
+            violations.addAll(events.violations());
+        }
         List<String> evidence = violations.isEmpty() ? List.of() : log.linesAbout(checker.offendingMessages());
         return new Result(
                 violations,
@@ -324,7 +355,8 @@
                 counts.getOrDefault("accepted", 0),
                 counts.getOrDefault("delivered", 0),
                 counts.getOrDefault("notified", 0),
-                history.waits());
+                history.waits(),
+                events == null ? 0 : events.answered());
     }
 
     @Override
--- a/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
+++ b/src/main/java/elderseam/testkit/ordering/RecordingPlatform.java
@@ -91,6 +91,11 @@
         return random.nextDouble() < refusedRatio;
     }
 
+    /** Accepts no further connections; open ones are served on. */
+    void stopAccepting() throws IOException {
+        server.stopAccepting();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/main/java/elderseam/testkit/ordering/TrialLoad.java
+++ b/src/main/java/elderseam/testkit/ordering/TrialLoad.java
@@ -8,6 +8,7 @@
  * @param messagesPerClient at most, in the time that the actions take
  * @param maxPauseMs between two messages of a client
  * @param minRemainingMs the shortest time that a message has
+ * @param eventSenders senders of CloudEvents, who give up early and ask again; the front for events is off without any
  */
 public record TrialLoad(
         int keys,
@@ -15,4 +16,16 @@
         int messagesPerClient,
         int maxPauseMs,
         int minRemainingMs,
-        int maxRemainingMs) {}
+        int maxRemainingMs,
+        int eventSenders) {
+    /** A load without events. */
+    public TrialLoad(
+            int keys,
+            int unorderedClients,
+            int messagesPerClient,
+            int maxPauseMs,
+            int minRemainingMs,
+            int maxRemainingMs) {
+        this(keys, unorderedClients, messagesPerClient, maxPauseMs, minRemainingMs, maxRemainingMs, 0);
+    }
+}
