Review fixes: no 503 for an abandoned platform request, a store that fails is read again soon

Rereading the three fixes. A connection whose client has ended its side was ended with the server's unread status, which is 503 at the platform's front: during an upgrade its request may be queued for the newer process and run all the same. Only a server with another status ends such connections now; the platform's front is as it was. An error of the disk under the stored certificate was tried again after 30 s like a failed order, with no listener open; now after 1 s. A roster that can't be read when the fleet is joined anew after a rollback ended the process; now it is logged and the roster of the start counts.

The 503 and the roster have no test of their own.

--- a/src/main/java/elderseam/acme/CertificateManager.java
+++ b/src/main/java/elderseam/acme/CertificateManager.java
@@ -45,6 +45,9 @@
 
     private static final Duration RETRY_DELAY = Duration.ofSeconds(30);
 
+    /** After an error of the disk under what is stored. */
+    private static final Duration STORE_RETRY_DELAY = Duration.ofSeconds(1);
+
     /** How often a member of a fleet looks whether it is the one that orders. */
     private static final Duration FLEET_CHECK_INTERVAL = Duration.ofSeconds(1);
 
@@ -142,9 +145,10 @@
      * schedules itself anew.
      */
     private void check() {
-        Instant nextCheckAt = Instant.now().plus(RETRY_DELAY);
+        Instant nextCheckAt = Instant.now().plus(STORE_RETRY_DELAY);
         try {
             serveStored();
+            nextCheckAt = Instant.now().plus(RETRY_DELAY);
             Optional<ServedCertificate> current = keepCurrent();
             if (current.isPresent()) {
                 nextCheckAt = fleet != null ? Instant.now().plus(FLEET_CHECK_INTERVAL) : renewalOf(current.get());
--- a/src/main/java/elderseam/app/FleetServices.java
+++ b/src/main/java/elderseam/app/FleetServices.java
@@ -1,5 +1,7 @@
 package elderseam.app;
 
+import static elderseam.logging.LogField.field;
+
 import elderseam.control.CommandResult;
 import elderseam.control.OperatorCommand;
 import elderseam.core.RequestDispatcher;
@@ -8,6 +10,7 @@
 import elderseam.frontend.platform.EndpointList;
 import elderseam.frontend.platform.PlatformConfiguration;
 import elderseam.http.IoLoop;
+import elderseam.logging.EventLogger;
 import elderseam.settings.SettingKeys;
 import elderseam.settings.Settings;
 import java.io.IOException;
@@ -18,6 +21,8 @@
  * versions. Each is null while it is off, and none of its classes is loaded then. Confined to the I/O thread.
  */
 final class FleetServices {
+    private static final EventLogger LOG = EventLogger.of(FleetServices.class);
+
     private final IoLoop io;
     private final PlatformConfiguration config;
     private final Settings settings;
@@ -64,13 +69,23 @@
         gossip = settings.get(SettingKeys.GOSSIP_LISTEN).equals("off")
                 ? null
                 : new GossipService(io, settings, dispatcher);
-        if (reloaded != null) {
-            reload(reloaded).run();
-        }
+        reapply();
         partition = openPartition();
         leases = settings.get(SettingKeys.FLEET_LISTEN).equals("off") ? null : openLeases();
     }
 
+    /** What was reloaded before the fleet was left counts again. */
+    private void reapply() {
+        if (reloaded == null) {
+            return;
+        }
+        try {
+            reload(reloaded).run();
+        } catch (IOException e) {
+            LOG.warn("reload.rejected", field("fault", e.getMessage()));
+        }
+    }
+
     private LeaseService openLeases() throws IOException {
         LeaseService.Tasks tasks =
                 new LeaseService.Tasks(dispatcher, discovery, endpoints, certificateOrder, versionReader);
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -117,9 +117,13 @@
 
     /**
      * Ends the connections whose clients have ended their side while their requests are processed. Such a client may
-     * still read, so that its request is answered. Returns false if there is none.
+     * still read, so that its request is answered; not with a 503, since the handler may have accepted it. Returns
+     * false if there is none.
      */
     private boolean tryEndAbandoned() {
+        if (unreadStatus == StatusCodes.SERVICE_UNAVAILABLE) {
+            return false;
+        }
         List<ClientConnection> abandoned = byChannel.values().stream()
                 .filter(ClientConnection::isAbandoned)
                 .toList();
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -253,7 +253,8 @@
     /**
      * Sets the status with which connections and requests are turned away unread, for lack of capacity or at the end of
      * the process. The default is 503. A server whose clients repeat a request under the same identity needs another
-     * one: a 503 tells that the request will not be executed, and an earlier copy of it may be in flight.
+     * one: a 503 tells that the request will not be executed, and an earlier copy of it may be in flight. With another
+     * status, clients that have ended their side while their requests are processed make room for new connections.
      */
     public void setUnreadStatus(int statusCode) {
         clientConnections.setUnreadStatus(statusCode);
