Events: an outcome is remembered until the event's deadline at least

With less than the class's time (28 s) the outcome may be forgotten as soon as it is there: a sender that gave up and asks again within the event's time had it taken as new, and a payment could take effect twice.

Change: remembered until the later of the deadline and remember_s, as a platform message is.

EventRetentionTest failed before (1000 where 9000 is due) and passes.

--- a/src/main/java/elderseam/frontend/cloudevents/EventMessageMapper.java
+++ b/src/main/java/elderseam/frontend/cloudevents/EventMessageMapper.java
@@ -46,7 +46,7 @@
     private final PolicySettings settings;
     private final long retentionNs;
 
-    /** {@code retentionNs}: how long the outcome of an event is remembered. */
+    /** {@code retentionNs}: how long the outcome of an event is remembered, or until its deadline if that is later. */
     EventMessageMapper(Clock clock, SettingsMap settings, long retentionNs) {
         this.clock = clock;
         this.classes = settings.names("services");
@@ -81,7 +81,7 @@
                 tenants.indexOf(extension(event, "tenant")),
                 destination,
                 deadline,
-                clock.now() + retentionNs,
+                Math.max(deadline, clock.now() + retentionNs), // its sender may ask again while it may be delivered
                 false,
                 false,
                 messageId,
