--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Plays one run: starts everything, carries out the signals in their order, lets the rest end, and checks the history. */
 public final class OrderTrial implements AutoCloseable {
@@ -90,6 +91,11 @@
     private static final Set<Action> UNREADY_ACTIONS =
             EnumSet.of(Action.PAUSE, Action.HAND_OVER, Action.HAND_OVER_AND_MOVE);
 
+    private static final int MAX_ADDRESS_BYTE = 250;
+
+    /** Of this process; each has an address of its own, since trials of one seed may run side by side. */
+    private static final AtomicInteger TRIALS = new AtomicInteger();
+
     private final SplittableRandom random;
     private final OrderHistory history = new OrderHistory();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -114,7 +120,10 @@
         open.add(log);
         open.add(new ObserverStalls(log));
         InetAddress own = InetAddress.getByAddress(new byte[] {
-            127, (byte) (100 + ProcessHandle.current().pid() % 100), (byte) random.nextInt(250), 1
+            127,
+            (byte) (100 + ProcessHandle.current().pid() % 100),
+            (byte) random.nextInt(MAX_ADDRESS_BYTE),
+            (byte) (1 + TRIALS.getAndIncrement() % MAX_ADDRESS_BYTE)
         });
         dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
         CopiedAnswers copies = startCopies(surroundings, seed);
