--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -119,12 +119,7 @@
         log = new ProcessLog(folder.resolve("dispatcher.log"), start);
         open.add(log);
         open.add(new ObserverStalls(log));
-        InetAddress own = InetAddress.getByAddress(new byte[] {
-            127,
-            (byte) (100 + ProcessHandle.current().pid() % 100),
-            (byte) random.nextInt(MAX_ADDRESS_BYTE),
-            (byte) (1 + TRIALS.getAndIncrement() % MAX_ADDRESS_BYTE)
-        });
+        InetAddress own = ownAddress(random.nextInt(MAX_ADDRESS_BYTE));
         dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
         CopiedAnswers copies = startCopies(surroundings, seed);
         platforms = new MovingPlatform(own, history, surroundings, copies, folder.resolve("config.json"));
@@ -158,6 +153,16 @@
         clock.ifPresent(stepped -> variables.putAll(stepped.environment()));
     }
 
+    /** The address of this trial alone. */
+    private static InetAddress ownAddress(int drawn) throws IOException {
+        return InetAddress.getByAddress(new byte[] {
+            127,
+            (byte) (100 + ProcessHandle.current().pid() % 100),
+            (byte) drawn,
+            (byte) (1 + TRIALS.getAndIncrement() % MAX_ADDRESS_BYTE)
+        });
+    }
+
     private CopiedAnswers startCopies(TrialSurroundings surroundings, long seed) {
         CopiedAnswers copies = new CopiedAnswers(surroundings.copies(), new SplittableRandom(seed));
         open.add(copies);
