--- a/review/lib-2/Client.java
+++ b/review/lib-2/Client.java
@@ -40,6 +40,12 @@
 
     /** Hands in a message; the status of the answer, or 0 where none came. */
     int send(String id, String lane, String org, long dest, long remainingMs, String key, String thread) {
+        return send(id, lane, org, dest, remainingMs, key, thread, "body of " + id);
+    }
+
+    /** The same, with a body of its own. */
+    int send(
+            String id, String lane, String org, long dest, long remainingMs, String key, String thread, String text) {
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Txn", id);
         headers.put("X-Lane", lane);
@@ -50,7 +56,7 @@
             headers.put("Idempotency-Key", key);
         }
         String target = "/" + lane + (thread.isEmpty() ? "" : "?thread=" + thread);
-        byte[] body = ("body of " + id).getBytes(StandardCharsets.UTF_8);
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
         Http answer = call(address, "POST " + target + " HTTP/1.1", headers, body, ANSWER_TIMEOUT_MS);
         int status = answer == null ? 0 : answer.status();
         record.line("client", "POST " + target + " X-Txn " + id + (key.isEmpty() ? "" : " key " + key) + " dest=" + dest
--- a/review/lib-2/Dispatcher.java
+++ b/review/lib-2/Dispatcher.java
@@ -89,6 +89,14 @@
         return false;
     }
 
+    String controlAddress() {
+        return control;
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/review/lib-2/KeyWindow.java
+++ b/review/lib-2/KeyWindow.java
@@ -23,8 +23,8 @@
         Path rules = rig.folder.resolve("keys.rules");
         Files.writeString(
                 rules,
-                "[rule rent]\nwhen = message.class == 'rent-payment' && message.key != ''\n"
-                        + "key = message.tenant + '/' + message.key\n");
+                "[rule lease]\nwhen = has(body.lease) && has(body.month)\n"
+                        + "key = message.tenant + '/' + string(body.lease) + '/' + body.month\n");
         Path ini = rig.folder.resolve("elderseam.ini");
         Files.writeString(ini, "[rules]\nfiles = " + rules + "\nremember_s = " + REMEMBER_S + "\n");
         Dispatcher process = rig.start("n1", "", ini.toString());
@@ -32,11 +32,10 @@
             rig.end(Rig.NOT_RUN, "the dispatcher did not start");
         }
         // the first is delivered well within its time of 2 s
-        int first = rig.client.send(IDS[0], "rent-payment", "erongo-lettings", 1, 2_000, "lease-7/deposit", "");
+        int first = pay(rig, IDS[0], "2026-12");
         Thread.sleep(REMEMBER_S * 1_000 + 3_000);
         rig.record.line("case", "the first was accepted over " + (REMEMBER_S + 2) + " s ago; remember_s = " + REMEMBER_S);
-        String key = rig.trouble ? "lease-7/deposit" : "lease-7/rent";
-        int second = rig.client.send(IDS[1], "rent-payment", "erongo-lettings", 1, 2_000, key, "");
+        int second = pay(rig, IDS[1], rig.trouble ? "2026-12" : "2027-01");
         Thread.sleep(2_000 + 1_000);
         process.kill();
         List<String> ran = bank.calls().stream().map(Endpoint.Call::id).toList();
@@ -51,4 +50,10 @@
         }
         rig.end(Rig.HELD, "the payment was delivered, refused, or its end told");
     }
+
+    private static int pay(Rig rig, String id, String month) {
+        String body = "{\"lease\":7,\"month\":\"" + month + "\",\"payment\":\"" + id + "\"}";
+        rig.record.line("client", id + " has the body " + body);
+        return rig.client.send(id, "rent-payment", "erongo-lettings", 1, 2_000, "", "", body);
+    }
 }
--- a/review/lib-2/NewClass.java
+++ b/review/lib-2/NewClass.java
@@ -20,6 +20,7 @@
         Endpoint bank = new Endpoint(rig.record, "bank", call -> Endpoint.Reply.ok(1_000));
         rig.platform.list("s-00000001", bank.address(), "wdh-1", "bank", 1, "SERVING");
         rig.configure(before);
+        rig.startOthers(3); // one of four is restarted
         Dispatcher first = rig.start("n1", "", "");
         if (!first.awaitReady(30_000)) {
             rig.end(Rig.NOT_RUN, "the dispatcher did not start");
--- a/review/lib-2/RetiredClass.java
+++ b/review/lib-2/RetiredClass.java
@@ -26,6 +26,7 @@
                 call -> shut.get() ? new Endpoint.Reply(20, 503, java.util.Map.of()) : Endpoint.Reply.ok(150));
         rig.platform.list("s-00000001", bank.address(), "wdh-1", "bank", 1, "SERVING");
         rig.configure(before);
+        rig.startOthers(3); // one of four is restarted
         Dispatcher process = rig.start("n1", "", "");
         if (!process.awaitReady(30_000)) {
             rig.end(Rig.NOT_RUN, "the dispatcher did not start");
--- a/review/lib-2/Rig.java
+++ b/review/lib-2/Rig.java
@@ -58,13 +58,20 @@
 
     /** Starts a process on the state folder; {@code control}: its control address, or empty. */
     Dispatcher start(String name, String control, String settingsFile) throws IOException {
-        Files.createDirectories(folder.resolve("state"));
+        return start(name, "n1", listen, folder.resolve("state"), control, settingsFile);
+    }
+
+    /** Starts another dispatcher, or a process of one: {@code relayName} at this address and on this folder. */
+    Dispatcher start(
+            String name, String relayName, String address, Path state, String control, String settingsFile)
+            throws IOException {
+        Files.createDirectories(state);
         Files.createDirectories(folder.resolve("tmp"));
         Map<String, String> variables = new LinkedHashMap<>();
-        variables.put("RELAY_NAME", "n1");
-        variables.put("RELAY_LISTEN", listen);
+        variables.put("RELAY_NAME", relayName);
+        variables.put("RELAY_LISTEN", address);
         variables.put("RELAY_DISCOVERY", platform.address());
-        variables.put("RELAY_STATE", folder.resolve("state").toString());
+        variables.put("RELAY_STATE", state.toString());
         variables.put("RELAY_CONFIG", folder.resolve("config.json").toString());
         variables.put("TMPDIR", folder.resolve("tmp").toString());
         if (!control.isEmpty()) {
@@ -73,6 +80,18 @@
         return new Dispatcher(record, name, root, variables, settingsFile);
     }
 
+    /** Starts further dispatchers, n2 and so on, each with its own address and folder; they get no messages. */
+    void startOthers(int count) throws IOException, InterruptedException {
+        for (int i = 2; i < count + 2; i++) {
+            String name = "n" + i;
+            Dispatcher other =
+                    start(name, name, "127.0.0.1:" + freePort(), folder.resolve("state-" + name), "", "");
+            if (!other.awaitReady(30_000)) {
+                end(NOT_RUN, name + " did not start");
+            }
+        }
+    }
+
     /** Ends the case with its verdict. */
     void end(int verdict, String why) {
         record.line("case", (verdict == BROKEN ? "BROKEN: " : verdict == HELD ? "held: " : "could not run: ") + why);
--- a/review/lib-2/ZoneKey.java
+++ b/review/lib-2/ZoneKey.java
@@ -25,6 +25,7 @@
         rig.platform.list("s-00000001", near.address(), "wdh-1", "landlord-books", 1, "SERVING");
         rig.platform.list("s-00000002", far.address(), "wdh-2", "landlord-books", 1, "SERVING");
         rig.configure(settings);
+        rig.startOthers(3); // one of four is restarted
         Dispatcher first = rig.start("n1", "", "");
         if (!first.awaitReady(30_000)) {
             rig.end(Rig.NOT_RUN, "the dispatcher did not start");
