Errors: a turn that throws does not end all turns, and a lost I/O thread ends the process

Cause, second half: DecisionLoop.run set `running` before the turn and cleared it after, so that whatever was thrown in a turn ended all later ones; XNIO catches and logs what its listeners throw, an Error included, and the I/O thread itself can end by one while the JVM lives on.

Where memory runs out the JVM ends by itself (-XX:+ExitOnOutOfMemoryError), since libraries catch and go on. An exception that ends another thread is logged as an event.

Given up: a process that could have gone on after an Error on a side thread. Nobody relied on that by the documents; clients of its requests are notified by the next start.

Looked at and sound: PeriodicTask, JournalRetry, timers of the pools (rescheduled first).

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -27,6 +27,6 @@
 within heap 24 64 $((memory - 64))
 within start 24 48 "$heap"
 within direct 6 12 $((memory / 12))
-exec java -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -Xss256k \
+exec java -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -XX:SharedArchiveFile=target/elderseam.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -Xss256k -XX:+ExitOnOutOfMemoryError \
     -Xms"$start"m -Xmx"$heap"m -XX:MaxDirectMemorySize="$direct"m \
     -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -jar target/elderseam.jar serve "$@"
--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -26,6 +26,7 @@
 import elderseam.handover.HandoverSender;
 import elderseam.http.EndpointAddress;
 import elderseam.http.EndpointConnectionPool;
+import elderseam.http.FatalErrors;
 import elderseam.http.HttpServer;
 import elderseam.http.IoLoop;
 import elderseam.http.XnioStartup;
@@ -96,6 +97,7 @@
     public static void serve(Map<String, String> variables, Path settingsFile) throws IOException {
         long calledNs = System.nanoTime();
         XnioStartup.configure();
+        FatalErrors.install();
         FileStamps files = ConfigurationReloads.stamps(variables, settingsFile);
         OperatorSettings.Loaded operator = OperatorSettings.load(settingsFile);
         Clock clock = clock(operator.settings());
--- a/src/main/java/elderseam/core/EventLoop.java
+++ b/src/main/java/elderseam/core/EventLoop.java
@@ -13,4 +13,7 @@
 
     /** Whether the thread was stalled and has not read the pending input yet, so that no decision may be made now. */
     boolean isStalled();
+
+    /** The state of what is confined to this thread can no longer be relied on; ends the process. */
+    default void failed(Throwable thrown) {}
 }
--- a/src/main/java/elderseam/http/IoLoop.java
+++ b/src/main/java/elderseam/http/IoLoop.java
@@ -195,6 +195,11 @@
         thread.execute(() -> runQueued(count, tasksAfterReading));
     }
 
+    @Override
+    public void failed(Throwable thrown) {
+        FatalErrors.end(thrown);
+    }
+
     private void scheduleHeartbeat(long time) {
         thread.executeAfter(this::runHeartbeat, delayNs(time), TimeUnit.NANOSECONDS);
     }
@@ -239,6 +244,8 @@
             task.run();
         } catch (RuntimeException e) { // a failing task must not stop the loop
             LOG.error("io.task_failed", e);
+        } catch (Error e) { // XNIO would log it and go on
+            FatalErrors.end(e);
         }
     }
 }
--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -58,6 +58,13 @@
     final List<String> attemptIds = new ArrayList<>();
 
     boolean stalled;
+
+    /** Thrown by the next attempt's sender; null: nothing is. */
+    Throwable sendFailure;
+
+    /** What the event loop was told to end the process for. */
+    final List<Throwable> failures = new ArrayList<>();
+
     private final IdentityHashMap<Runnable, Long> dueTimes = new IdentityHashMap<>();
     private long advancedNs;
     RequestDispatcher dispatcher;
@@ -197,12 +204,29 @@
     @Override
     public EndpointCall send(
             ActiveRequest.Message message, String endpoint, long connectBy, long answerBy, AttemptListener listener) {
+        throwIfFailing();
         attempts.add(listener);
         attemptIds.add(message.id());
         return () -> listener.ended(
                 AttemptOutcome.unanswered(AttemptOutcome.Progress.WRITTEN, AttemptOutcome.Status.ABANDONED));
     }
 
+    private void throwIfFailing() {
+        Throwable failure = sendFailure;
+        sendFailure = null;
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        if (failure instanceof RuntimeException exception) {
+            throw exception;
+        }
+    }
+
+    @Override
+    public void failed(Throwable thrown) {
+        failures.add(thrown);
+    }
+
     @Override
     public void closeIdle(String endpoint) {}
 }
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import elderseam.core.AttemptOutcome.Progress;
@@ -70,6 +71,27 @@
                 "its last endpoint was removed only recently, and another may be added");
     }
 
+    /** Guards against a dispatcher that never decides again once a turn has thrown, and takes requests on all the same. */
+    @Test
+    void aTurnThatThrowsDoesNotEndTheTurns() {
+        harness.sendFailure = new IllegalStateException("planted");
+        assertEquals(Optional.empty(), harness.submit("a"));
+        assertEquals(Optional.empty(), harness.submit("b"));
+        assertEquals(List.of("b"), harness.attemptIds);
+        assertEquals(List.of(), harness.failures);
+    }
+
+    /** Guards against a process that lives on after an error in a turn; who requested the turn may swallow the error. */
+    @Test
+    void anErrorInATurnEndsTheProcess() {
+        harness.sendFailure = new StackOverflowError("planted");
+        Throwable planted = harness.sendFailure;
+        assertThrows(StackOverflowError.class, () -> harness.submit("a"));
+        assertEquals(List.of(planted), harness.failures);
+        assertEquals(Optional.empty(), harness.submit("b"));
+        assertEquals(List.of("b"), harness.attemptIds);
+    }
+
     /** A request has one final outcome, and a message with the same id is not accepted twice. */
     @Test
     void eachRequestCompletesOnce() {
