Memory: bodies of answered and accepted messages have bounds in bytes and time

Cause, confirmed: each connection kept up to 16 answered exchanges until the time of their requests was over, each with the encoded request and, through its listener, the message: 128 KiB each, 2 MiB a connection, counted against nothing, and freed only by the next answer on the same connection. Calls with several messages were kept as well, though nothing refutes them.

Change: UnsettledResponses keeps the listeners of a pool's answers that can be refuted, the bodies in all under memory_mb / 32; they are freed by time, with the connection, and when the bound is reached, the one that is settled next first. The encoded request goes with its last byte. On the related path, the bodies of accepted messages stay under memory_mb / 16 (503 with Retry-After beyond it): until now only disk_mb bounded them, which may be far larger than the heap.

Who relied on what is discarded: OutcomeCorrection, which attempts a safe or keyed message again when its answer is refuted. Without its body the message now ends with a notice (FAILED, may have run) in place of another attempt; it is not lost. Nobody else reads a body after the outcome.

--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -156,11 +156,12 @@
         ResourceLimits limits = config.limits();
         long idleNs = policySettings.connections().idleNs() * 4 / 5; // before the other side closes it
         EndpointList endpoints = new EndpointList(config.settings());
-        endpointConnections =
-                new EndpointConnectionPool(io, idleNs, limits.endpointConnections(), PlatformFrontend.MAX_BODY_BYTES);
+        endpointConnections = new EndpointConnectionPool(
+                io, idleNs, limits.endpointConnections(), PlatformFrontend.MAX_BODY_BYTES, limits.unsettledBytes());
         EndpointConnectionPool platform =
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
+        dispatcher.limitHeldBytes(limits.heldBytes());
         reportToDispatcher(platform);
         liveConfiguration = readLiveConfiguration(journal, variables);
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -91,6 +91,11 @@
             return copy(deadline, "", NO_BODY, deduplicationKeyOfFirst, orderKey);
         }
 
+        /** Returns this message without its body. */
+        Message withoutBody() {
+            return copy(deadline, idempotencyKey, NO_BODY, deduplicationKey, orderKey);
+        }
+
         private Message copy(
                 long newDeadline,
                 String newIdempotencyKey,
@@ -154,10 +159,30 @@
     /** Whether the client has been informed of the acceptance, and so must be notified of the outcome. */
     boolean acknowledged;
 
+    /** Whether the body of a completed request was dropped to save memory, so that it can't be attempted again. */
+    private boolean bodyReleased;
+
     ActiveRequest(Message message) {
         this.message = message;
     }
 
+    /** Returns this completed request without the body of its message. */
+    ActiveRequest withoutBody() {
+        ActiveRequest released = new ActiveRequest(message.withoutBody());
+        released.attempts = attempts;
+        released.mayHaveRun = mayHaveRun;
+        released.deduplicatedUntil = deduplicatedUntil;
+        released.outcome = outcome;
+        released.acknowledged = acknowledged;
+        released.bodyReleased = true;
+        return released;
+    }
+
+    /** Whether the body of the completed request was dropped. */
+    boolean isBodyReleased() {
+        return bodyReleased;
+    }
+
     /** Returns this request, as restored from an earlier process, with its deadline limited to {@code latest}. */
     ActiveRequest withDeadlineUntil(long latest) {
         if (message.deadline() <= latest) {
--- a/src/main/java/elderseam/core/AttemptListener.java
+++ b/src/main/java/elderseam/core/AttemptListener.java
@@ -26,6 +26,14 @@
      */
     default void refuted() {}
 
+    /** The size of the message's body, in bytes, if it is kept for {@link #refuted}; 0 if it is not. */
+    default int retainedBytes() {
+        return 0;
+    }
+
+    /** The message's body must not be kept any longer for {@link #refuted}, which may still be called. */
+    default void releaseBody() {}
+
     /** The response to a cancelled attempt has arrived late. Called after {@link #ended}, at most once. */
     void answeredLate(AttemptOutcome outcome);
 }
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -135,12 +135,14 @@
      * successor.
      */
     final class ActiveAttempt implements AttemptListener {
-        private final ActiveRequest request;
+        private ActiveRequest request;
         final int number;
         final String endpoint;
         final long start;
 
         private boolean delivered; // by the response, not by a late one
+        private boolean over;
+        private boolean releaseDue;
 
         private ActiveAttempt(ActiveRequest request, int number, String endpoint, long start) {
             this.request = request;
@@ -167,6 +169,14 @@
 
         @Override
         public void ended(AttemptOutcome outcome) {
+            end(outcome);
+            over = true;
+            if (releaseDue) {
+                releaseBody();
+            }
+        }
+
+        private void end(AttemptOutcome outcome) {
             request.inFlightCall = null;
             inFlight.add(request.message.destination(), -1);
             if (dispatcher.handover().forward(request, this, false, outcome)) {
@@ -193,6 +203,20 @@
             }
         }
 
+        @Override
+        public int retainedBytes() {
+            return request.message.body().length;
+        }
+
+        /** Takes effect once the attempt has ended: then nothing but this attempt refers to its completed request. */
+        @Override
+        public void releaseBody() {
+            releaseDue = true;
+            if (over) {
+                request = request.withoutBody();
+            }
+        }
+
         private void complete(AttemptOutcome outcome) {
             boolean withdrawn = outcome.status() == Status.WITHDRAWN;
             dispatcher.complete(
--- a/src/main/java/elderseam/core/Handover.java
+++ b/src/main/java/elderseam/core/Handover.java
@@ -74,7 +74,7 @@
         PolicySnapshotCodec.Writer snapshot = new PolicySnapshotCodec.Writer(clock);
         policy.transferState(clock.now(), snapshot);
         List<InFlightAttempt> inFlight = new ArrayList<>();
-        for (ActiveRequest request : dispatcher.requests()) {
+        for (ActiveRequest request : dispatcher.requests().all()) {
             if (request.inFlightCall != null) {
                 AttemptTracker.ActiveAttempt attempt = request.lastAttempt;
                 long age = clock.now() - attempt.start;
--- a/src/main/java/elderseam/core/Metrics.java
+++ b/src/main/java/elderseam/core/Metrics.java
@@ -1,5 +1,6 @@
 package elderseam.core;
 
+import elderseam.policy.EndpointCounts;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -116,4 +117,10 @@
         }
         undelivered.forEach((reason, count) -> lines.add(PREFIX + "undelivered." + reason.label() + "=" + count));
     }
+
+    /** Appends the numbers of endpoints, one {@code NAME=NUMBER} line for each. */
+    static void appendEndpoints(EndpointCounts endpoints, List<String> lines) {
+        lines.add("edge_relay.hosts_listed=" + endpoints.listed());
+        lines.add("edge_relay.hosts_down=" + endpoints.unavailable());
+    }
 }
--- a/src/main/java/elderseam/core/OutcomeCorrection.java
+++ b/src/main/java/elderseam/core/OutcomeCorrection.java
@@ -10,8 +10,8 @@
 
 /**
  * Corrects the final outcome of a request that counted as delivered by the answer to another request. It may have run. It
- * is attempted again if its class allows that; otherwise, and if the journal has no capacity, it fails. Confined to the
- * event-loop thread.
+ * is attempted again if its class allows that; otherwise, and if the journal has no capacity or the body of its message
+ * was released, it fails. Confined to the event-loop thread.
  */
 final class OutcomeCorrection {
     private static final EventLogger LOG = EventLogger.of(OutcomeCorrection.class);
@@ -51,7 +51,7 @@
      */
     void refuted(ActiveRequest request, String endpoint, long attemptStart) {
         boolean transferred = dispatcher.handover().isTransferred();
-        boolean again = !transferred && mayAttemptAgain(request, attemptStart);
+        boolean again = !transferred && !request.isBodyReleased() && mayAttemptAgain(request, attemptStart);
         metrics.deliveryRefuted();
         LOG.warn(
                 "request.delivery_refuted",
--- a/src/main/java/elderseam/core/RequestAdmission.java
+++ b/src/main/java/elderseam/core/RequestAdmission.java
@@ -59,7 +59,7 @@
         if (!policy.serves(clock.now(), message.destination())) {
             return Optional.of(reject(message, OutcomeReason.NO_ENDPOINT));
         }
-        if (!hasCapacity()) {
+        if (!hasCapacity() || !dispatcher.requests().hasRoomFor(message)) {
             return Optional.of(reject(message, OutcomeReason.REQUEST_LIMIT));
         }
         if (!journal.accepted(message)) {
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -1,7 +1,6 @@
 package elderseam.core;
 
 import elderseam.policy.BreakerView;
-import elderseam.policy.EndpointCounts;
 import elderseam.policy.ListUpdateKind;
 import elderseam.policy.ListedEndpoint;
 import elderseam.policy.PolicyEvents;
@@ -34,7 +33,7 @@
     private final Clock clock;
     private final EventLoop loop;
     private final Map<Byte, Frontend> frontends = new HashMap<>();
-    private final Map<String, ActiveRequest> requests = new HashMap<>();
+    private final RequestsInFlight requests = new RequestsInFlight();
     private final DuplicateRequests duplicates;
     private final OperatorDrains drains;
     private final Metrics metrics;
@@ -85,6 +84,11 @@
         this.admission = new RequestAdmission(this, settings, policy, journal, duplicates, metrics, log, clock);
     }
 
+    /** Limits the total size of the bodies of accepted messages. */
+    public void limitHeldBytes(long maxBytes) {
+        requests.limitBodyBytes(maxBytes);
+    }
+
     /** Registers a frontend under its number, and the sender for the requests that it submits. */
     public void registerFrontend(byte number, Frontend frontend, AttemptSender sender) {
         frontends.put(number, frontend);
@@ -129,13 +133,11 @@
     public List<String> metricLines(List<String> classNames) {
         List<String> lines = new ArrayList<>();
         metrics.appendLines(classNames, lines);
-        EndpointCounts endpoints = policy.endpointCounts(clock.now());
         lines.add("edge_relay.inflight=" + requestsInFlight());
         if (journal.deferredRecordCount() > 0) {
             lines.add("edge_relay.journal_owed=" + journal.deferredRecordCount());
         }
-        lines.add("edge_relay.hosts_listed=" + endpoints.listed());
-        lines.add("edge_relay.hosts_down=" + endpoints.unavailable());
+        Metrics.appendEndpoints(policy.endpointCounts(clock.now()), lines);
         order.appendMetrics("edge_relay.", lines);
         return lines;
     }
@@ -176,7 +178,7 @@
         }
         request.acknowledged = true;
         log.restored(request);
-        requests.put(request.id(), request);
+        requests.add(request);
         if (message.hasDeduplicationKey()) {
             duplicates.addFirst(request);
         }
@@ -229,7 +231,7 @@
     /** Registers an accepted message; returns its final outcome if that is decided immediately, otherwise null. */
     FinalOutcome accept(ActiveRequest.Message message) {
         ActiveRequest request = new ActiveRequest(message);
-        requests.put(request.id(), request);
+        requests.add(request);
         log.accepted(message);
         if (message.hasDeduplicationKey()) {
             duplicates.addFirst(request);
@@ -338,8 +340,8 @@
     }
 
     /** All requests in flight except waiting duplicates. */
-    Collection<ActiveRequest> requests() {
-        return requests.values();
+    RequestsInFlight requests() {
+        return requests;
     }
 
     /**
--- a/src/main/java/elderseam/frontend/platform/ResourceLimits.java
+++ b/src/main/java/elderseam/frontend/platform/ResourceLimits.java
@@ -24,6 +24,12 @@
     /** The divisor of the memory limit that gives the memory for requests that are being read. */
     private static final int REQUEST_MEMORY_DIVISOR = 32;
 
+    /** The divisor of the memory limit that gives the memory for the bodies of accepted messages. */
+    private static final int HELD_MEMORY_DIVISOR = 16;
+
+    /** The divisor of the memory limit that gives the memory for answered requests that may have to be repeated. */
+    private static final int UNSETTLED_MEMORY_DIVISOR = 32;
+
     private static final long BYTES_PER_MIB = 1 << 20;
 
     /** The maximum number of client connections of all front ends together: 45% of the descriptors. */
@@ -37,6 +43,16 @@
         return Math.max(MIN_CONNECTIONS, descriptors - reserved);
     }
 
+    /** The maximum total size of the bodies of accepted messages without a final outcome. */
+    public long heldBytes() {
+        return memoryMb * BYTES_PER_MIB / HELD_MEMORY_DIVISOR;
+    }
+
+    /** The maximum total size of the answered requests that are kept to repeat them if their responses are refuted. */
+    public long unsettledBytes() {
+        return memoryMb * BYTES_PER_MIB / UNSETTLED_MEMORY_DIVISOR;
+    }
+
     /** The maximum total size of requests that one front end reads at the same time, in bytes. */
     public int requestBytes() {
         return (int) Math.min(Integer.MAX_VALUE, memoryMb * BYTES_PER_MIB / REQUEST_MEMORY_DIVISOR);
--- a/src/main/java/elderseam/http/AttemptExchange.java
+++ b/src/main/java/elderseam/http/AttemptExchange.java
@@ -68,4 +68,19 @@
     public void refuted() {
         attempt.refuted();
     }
+
+    @Override
+    public boolean isRefutable() {
+        return true;
+    }
+
+    @Override
+    public int retainedBytes() {
+        return attempt.retainedBytes();
+    }
+
+    @Override
+    public void releaseRequest() {
+        attempt.releaseBody();
+    }
 }
--- a/src/main/java/elderseam/http/EndpointConnection.java
+++ b/src/main/java/elderseam/http/EndpointConnection.java
@@ -36,7 +36,7 @@
     private final EndpointConnectionPool pool;
     private EndpointExchange exchange; // the exchange in progress; null if none
     private EndpointExchange cancelledExchange; // the exchange that awaits a late response; null if none
-    private final ArrayDeque<EndpointExchange> unsettled = new ArrayDeque<>(0); // the latest last
+    private final ArrayDeque<UnsettledResponses.Entry> unsettled = new ArrayDeque<>(0); // the latest last
     private int answeredExchanges;
     private long lastWrittenNs;
     private boolean onlySuccesses = true;
@@ -99,13 +99,17 @@
         return lastWrittenNs;
     }
 
-    /** An exchange ended successfully by a response that may belong to another one; further input can refute it. */
-    void addUnsettled(EndpointExchange answered, long now) {
-        unsettled.removeIf(earlier -> earlier.answerBy() <= now);
+    /**
+     * An exchange ended successfully by a response that may belong to another one; further input can refute it.
+     *
+     * @param settledAt when the exchange would have timed out
+     */
+    void addUnsettled(ExchangeListener answered, long settledAt, long now) {
+        unsettled.removeIf(earlier -> earlier.isSettled(now));
         if (unsettled.size() >= MAX_UNSETTLED) {
-            unsettled.removeFirst();
+            pool.unsettledResponses().settle(unsettled.removeFirst());
         }
-        unsettled.add(answered);
+        unsettled.add(pool.addUnsettled(answered, settledAt));
     }
 
     /** Returns the channel to which the request is written. */
@@ -160,6 +164,8 @@
                 cancelledExchange.lateResponseEnded();
             }
             pool.connectionClosed(this);
+            unsettled.forEach(pool.unsettledResponses()::settle);
+            unsettled.clear();
             IoUtils.safeClose(channel);
         }
     }
@@ -214,15 +220,20 @@
         boolean success = startsWithSuccess(pool.readBuffer);
         if (!success) {
             long now = pool.io.clock.now();
-            List<EndpointExchange> refuted = unsettled.stream()
-                    .filter(exchange -> exchange.answerBy() > now)
+            List<UnsettledResponses.Entry> refuted = unsettled.stream()
+                    .filter(response -> !response.isSettled(now))
                     .toList();
             unsettled.clear();
-            refuted.forEach(exchange -> pool.io.run(exchange::refuted));
+            refuted.forEach(response -> pool.io.run(() -> refute(response)));
         }
         return success;
     }
 
+    private void refute(UnsettledResponses.Entry response) {
+        response.refute();
+        pool.unsettledResponses().settle(response);
+    }
+
     private static boolean startsWithSuccess(ByteBuffer bytes) {
         if (bytes.remaining() < SUCCESS_START.length) {
             return false;
--- a/src/main/java/elderseam/http/EndpointConnectionPool.java
+++ b/src/main/java/elderseam/http/EndpointConnectionPool.java
@@ -49,6 +49,7 @@
     /** Idle connections by endpoint, the most recently used last; no queue is empty. */
     final Map<EndpointAddress, ArrayDeque<EndpointConnection>> idle = new HashMap<>();
 
+    private final UnsettledResponses unsettledResponses;
     private final ArrayDeque<EndpointConnection> halfClosed = new ArrayDeque<>(); // oldest first
     private final long maxIdleNs;
     private int maxConnections;
@@ -57,14 +58,29 @@
     private boolean sweepScheduled;
 
     /**
-     * Creates an empty pool.
+     * Creates an empty pool that keeps no answered requests.
      *
      * @param maxIdleNs the idle timeout of a connection in nanoseconds
      * @param maxConnections the maximum number of open connections
      * @param maxResponseBytes a response with a longer body is malformed
      */
     public EndpointConnectionPool(IoLoop io, long maxIdleNs, int maxConnections, int maxResponseBytes) {
+        this(io, maxIdleNs, maxConnections, maxResponseBytes, 0);
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param maxIdleNs the idle timeout of a connection in nanoseconds
+     * @param maxConnections the maximum number of open connections
+     * @param maxResponseBytes a response with a longer body is malformed
+     * @param maxUnsettledBytes the maximum total size of the answered requests' bodies that are kept to repeat them if
+     *     their responses are refuted
+     */
+    public EndpointConnectionPool(
+            IoLoop io, long maxIdleNs, int maxConnections, int maxResponseBytes, long maxUnsettledBytes) {
         this.io = io;
+        this.unsettledResponses = new UnsettledResponses(maxUnsettledBytes);
         this.localFailures = new LocalFailures(io.clock);
         this.unexpectedInput = new UnexpectedInput(io.clock);
         this.discardedResponses = new DiscardedResponses(io.clock);
@@ -140,6 +156,18 @@
         return quiet && !expired ? connection : null;
     }
 
+    /** Returns the successful responses that further input may still refute. */
+    UnsettledResponses unsettledResponses() {
+        return unsettledResponses;
+    }
+
+    /** Adds a successful response that further input may refute until {@code settledAt}. */
+    UnsettledResponses.Entry addUnsettled(ExchangeListener answered, long settledAt) {
+        UnsettledResponses.Entry added = unsettledResponses.add(answered, settledAt);
+        scheduleSweep();
+        return added;
+    }
+
     /** Returns the rules by which idle connections are used again. */
     EndpointReuseRules reuseRules() {
         return reuseRules;
@@ -254,7 +282,7 @@
     }
 
     private void scheduleSweep() {
-        boolean nothingToSweep = idle.isEmpty() && halfClosed.isEmpty();
+        boolean nothingToSweep = idle.isEmpty() && halfClosed.isEmpty() && unsettledResponses.isEmpty();
         if (!sweepScheduled && !nothingToSweep) {
             sweepScheduled = true;
             io.at(io.clock.now() + SWEEP_INTERVAL_NS, this::sweep);
@@ -264,6 +292,7 @@
     private void sweep() {
         sweepScheduled = false;
         scheduleSweep(); // first, so that the next sweep runs even if this one throws
+        unsettledResponses.settleExpired(io.clock.now());
         closeExpiredIdle(io.clock.now() - maxIdleNs);
         closeExpiredHalfClosed(io.clock.now() - LATE_RESPONSE_TIMEOUT_NS);
     }
--- a/src/main/java/elderseam/http/EndpointExchange.java
+++ b/src/main/java/elderseam/http/EndpointExchange.java
@@ -25,11 +25,12 @@
     /** Time limit from the first byte of a response to the last. */
     private static final long RESPONSE_TIMEOUT_NS = 700 * Clock.MILLISECOND_NS;
 
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
     private static final OptionMap SOCKET_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final EndpointConnectionPool pool;
     private final EndpointAddress endpoint;
-    private final ByteBuffer request;
+    private ByteBuffer request; // empty once no more of it will be written
     private final long connectBy;
     private final long answerBy;
     private final ExchangeListener listener;
@@ -162,6 +163,7 @@
             if (!finished) {
                 sink.suspendWrites();
                 connection.requestWritten(pool.io.clock.now());
+                request = NOTHING;
                 progress = Progress.WRITTEN; // from this point on the endpoint may have executed the request
                 listener.written(new AttemptConnection(connection.number, connection.answeredExchanges()));
             }
@@ -236,8 +238,8 @@
             finish(Status.ERROR); // the response may be that of an earlier request
             return;
         }
-        if (!certain && isSuccess()) {
-            connection.addUnsettled(this, pool.io.clock.now());
+        if (!certain && isSuccess() && listener.isRefutable()) {
+            connection.addUnsettled(listener, answerBy, pool.io.clock.now());
         }
         boolean reusable = count > 0
                 && !surplus
@@ -267,16 +269,6 @@
         return response.statusCode() / 100 == 2;
     }
 
-    /** The time by which the whole response must have arrived. */
-    long answerBy() {
-        return answerBy;
-    }
-
-    /** The response on which the exchange ended was probably that of another request. */
-    void refuted() {
-        listener.refuted();
-    }
-
     /** Ends the exchange without a response, unless input that has already arrived completes the response. */
     private void abort(Status reason) {
         if (!finished && connection != null && progress == Progress.WRITTEN) {
@@ -326,6 +318,7 @@
             return;
         }
         finished = true;
+        request = NOTHING;
         if (timer != null) {
             timer.remove();
         }
--- a/src/main/java/elderseam/http/ExchangeListener.java
+++ b/src/main/java/elderseam/http/ExchangeListener.java
@@ -62,4 +62,17 @@
      * has arrived on a connection that had been used before. Called at most once, after {@link #ended}.
      */
     default void refuted() {}
+
+    /** Whether the listener has a use for {@link #refuted}, and so must be kept after the exchange has ended. */
+    default boolean isRefutable() {
+        return false;
+    }
+
+    /** The size of the request's body, in bytes, if the listener keeps it for {@link #refuted}; 0 if it keeps none. */
+    default int retainedBytes() {
+        return 0;
+    }
+
+    /** The listener must not keep the request's body any longer; {@link #refuted} may still be called. */
+    default void releaseRequest() {}
 }
--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -126,6 +126,12 @@
         return submit(id, DESTINATION);
     }
 
+    Optional<FinalOutcome> submitWithBody(String id, int bodyBytes) {
+        long deadline = clock.now() + DEADLINE_NS;
+        return dispatcher.submit(new ActiveRequest.Message(
+                id, FRONTEND, 0, NO_TENANT, DESTINATION, deadline, deadline, false, true, "", new byte[bodyBytes]));
+    }
+
     Optional<FinalOutcome> submit(String id, long destination) {
         long deadline = clock.now() + DEADLINE_NS;
         return dispatcher.submit(new ActiveRequest.Message(
--- a/src/test/java/elderseam/core/RequestDispatcherTest.java
+++ b/src/test/java/elderseam/core/RequestDispatcherTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -92,6 +93,34 @@
         assertEquals(List.of("b"), harness.attemptIds);
     }
 
+    /** Guards against an answered request without its body that is attempted again, with an empty one, when refuted. */
+    @Test
+    void aRefutedRequestWhoseBodyWasReleasedFails() throws IOException {
+        harness = new DispatcherHarness(folder.resolve("safe"), Map.of("services.0.effect", "repeatable"));
+        harness.submit("kept");
+        harness.submit("released");
+        harness.attempts.get(1).releaseBody(); // takes effect with the end of the attempt
+        harness.end(0, DispatcherHarness.DELIVERED);
+        harness.end(1, DispatcherHarness.DELIVERED);
+        harness.attempts.get(0).refuted();
+        harness.attempts.get(1).refuted();
+        assertEquals(List.of("kept", "released", "kept"), harness.attemptIds);
+        assertEquals(List.of("kept DELIVERED", "released DELIVERED", "released FAILED"), harness.completed);
+    }
+
+    /** Guards against a heap that fills with the bodies of accepted messages, where the disk has room for more of them. */
+    @Test
+    void theBodiesOfAcceptedMessagesAreBounded() {
+        harness.dispatcher.limitHeldBytes(100);
+        assertEquals(Optional.empty(), harness.submitWithBody("a", 60));
+        assertEquals(Optional.empty(), harness.submitWithBody("b", 40));
+        FinalOutcome rejection = harness.submitWithBody("c", 1).orElseThrow();
+        assertTrue(rejection.isRejection() && rejection.retryAfterNs() > 0);
+        assertEquals(Optional.empty(), harness.submitWithBody("d", 0));
+        harness.end(0, DispatcherHarness.DELIVERED);
+        assertEquals(Optional.empty(), harness.submitWithBody("c", 60));
+    }
+
     /** A request has one final outcome, and a message with the same id is not accepted twice. */
     @Test
     void eachRequestCompletesOnce() {
--- a/src/test/java/elderseam/scenario/DispatcherLauncher.java
+++ b/src/test/java/elderseam/scenario/DispatcherLauncher.java
@@ -11,7 +11,11 @@
 /** Writes the configuration of a scenario's program and starts processes of it, as set for the next start. */
 final class DispatcherLauncher {
     /** The most open files that a process may have. */
-    private static final int FILE_LIMIT = 256;
+    private static final int DEFAULT_FILE_LIMIT = 256;
+
+    private static final int DEFAULT_MEMORY_MEGABYTES = 32;
+    private static final int DEFAULT_HEAP_MEGABYTES = 64;
+    private static final int DEFAULT_DIRECT_MEGABYTES = 64;
 
     /** {@code debug}: the program logs each step of a request. */
     private static final String REQUEST_LOG_LEVEL = System.getProperty("scenario.requestLog", "info");
@@ -29,6 +33,10 @@
     private String jvmFlag = "-Xshare:auto";
     private String shellPrefix = "";
     private int niceness;
+    private int fileLimit = DEFAULT_FILE_LIMIT;
+    private int memoryMegabytes = DEFAULT_MEMORY_MEGABYTES;
+    private int heapMegabytes = DEFAULT_HEAP_MEGABYTES;
+    private int directMegabytes = DEFAULT_DIRECT_MEGABYTES;
     private String settings;
 
     /**
@@ -78,6 +86,14 @@
         shellPrefix = "trap '' HUP; ";
     }
 
+    /** Processes may have so many open files, and so much memory, with the heap and buffers that deploy/serve.sh derives. */
+    void setLimits(int files, int megabytes) {
+        fileLimit = files;
+        memoryMegabytes = megabytes;
+        heapMegabytes = Math.max(24, Math.min(64, megabytes - 64));
+        directMegabytes = Math.max(6, Math.min(12, megabytes / 12));
+    }
+
     /** A further flag of the JVM. */
     void setJvmFlag(String flag) {
         jvmFlag = flag;
@@ -103,13 +119,14 @@
         ProcessBuilder builder = new ProcessBuilder(
                 "sh",
                 "-c",
-                shellPrefix + "ulimit -n " + FILE_LIMIT + "; exec nice -n " + niceness + " \"$@\"",
+                shellPrefix + "ulimit -n " + fileLimit + "; exec nice -n " + niceness + " \"$@\"",
                 "sh",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 jvmFlag,
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Xmx64m",
+                "-Xmx" + heapMegabytes + "m",
+                "-XX:MaxDirectMemorySize=" + directMegabytes + "m",
                 "-Dorg.slf4j.simpleLogger.log.elderseam.core.RequestLog=" + REQUEST_LOG_LEVEL,
                 "-cp",
                 System.getProperty("java.class.path"),
@@ -142,7 +159,8 @@
         String deployment = settings == null ? defaultSettings() : settings;
         String endpoints = listEntry.apply("h1" + LISTED_STATE) + "," + listEntry.apply("h2" + LISTED_STATE);
         writeConfiguration("{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"discovery\":\"" + platformAddress
-                + "\",\"limits\":{\"sockets\":" + FILE_LIMIT + ",\"memory_mb\":32,\"disk_mb\":" + diskMegabytes
+                + "\",\"limits\":{\"sockets\":" + fileLimit + ",\"memory_mb\":" + memoryMegabytes + ",\"disk_mb\":"
+                + diskMegabytes
                 + "},\"known\":{\"version\":1,\"full\":true,\"servers\":[" + endpoints + "]},\"settings\":"
                 + deployment + "}");
     }
