Client connections: a head's fields and bytes are bounded before they are parsed

And beside clients that stop half way through a body: 503 for the usual ones.

Cause: what a connection held before its request was admitted was bounded by count alone: Undertow parses a whole read of 16 KiB before it refuses a head, keeps an object for each field, and its buffer until its own refusal is written, which ours replaces. Bodies of any size shared one bound, so that stalled ones shut out small ones that had arrived already.

Incomplete heads in all stay under the bound on bodies; beyond it the one that is incomplete for longest is refused (503, Retry-After, or the status of the front end). A body that came with its head, or of 2 KiB at most, needs no reservation.

Who relied on what is discarded: a client whose head is still incomplete while a crowd's heads fill the bound; it sends again after the 503. No status changes for any other request.

--- a/src/main/java/elderseam/http/ClientConnection.java
+++ b/src/main/java/elderseam/http/ClientConnection.java
@@ -18,13 +18,16 @@
  * response in transit. Input that arrives after the sending side was shut down is never processed: it could not be
  * answered, and a client that receives no response retries. Confined to the I/O thread.
  */
-final class ClientConnection {
+final class ClientConnection implements RequestHeadValidator.Owner {
     /**
      * Time limit for receiving a request. It starts when the connection is accepted or, on a persistent connection,
      * when the head of the request has arrived.
      */
     private static final long REQUEST_TIMEOUT_NS = 2_400 * Clock.MILLISECOND_NS;
 
+    /** A body that is read even where bodies that have stalled take all memory for bodies: it is small, as most are. */
+    private static final int SMALL_BODY_BYTES = 2 << 10;
+
     private static final int LARGE_BODY_BYTES = 64 << 10;
     private static final long LARGE_BODY_EXTRA_NS = 3_000 * Clock.MILLISECOND_NS;
 
@@ -68,6 +71,8 @@
     private long deadline;
     private boolean awaitsFirstRequest = true;
     private int reservedBodyBytes;
+    private int headBytes; // of an incomplete head, by the estimate of the validator
+    private long headSince;
     private PendingAnswer pendingAnswer; // null unless PROCESSING
 
     /** Creates the state of a connection that was just accepted. */
@@ -75,7 +80,7 @@
         this.connections = connections;
         this.channel = channel;
         this.clock = clock;
-        headValidator = new RequestHeadValidator(channel.getSourceChannel().getConduit());
+        headValidator = new RequestHeadValidator(channel.getSourceChannel().getConduit(), this);
         channel.getSourceChannel().setConduit(headValidator);
         channel.getSinkChannel()
                 .setConduit(new ParseErrorInterceptor(channel.getSinkChannel().getConduit(), this));
@@ -87,15 +92,19 @@
      * Called when the head of a request has arrived.
      *
      * @param bodyBytes the maximum length of its body
+     * @param arrived whether all of the body has arrived with the head
      * @return false if the memory for that body cannot be reserved now
      */
-    boolean requestStarted(long bodyBytes) {
+    boolean requestStarted(long bodyBytes, boolean arrived) {
         long startedAt = awaitsFirstRequest ? stateSince : clock.now();
         awaitsFirstRequest = false;
         enter(
                 State.RECEIVING,
                 startedAt + REQUEST_TIMEOUT_NS + (bodyBytes > LARGE_BODY_BYTES ? LARGE_BODY_EXTRA_NS : 0));
         connections.requestStarted();
+        if (arrived || bodyBytes <= SMALL_BODY_BYTES) {
+            return true;
+        }
         if (!connections.reserveBody(bodyBytes)) {
             return false;
         }
@@ -103,6 +112,32 @@
         return true;
     }
 
+    @Override
+    public void headTakes(int bytes) {
+        if (headBytes == 0) {
+            headSince = clock.now();
+        }
+        int change = bytes - headBytes;
+        headBytes = bytes;
+        connections.headsGrew(change);
+    }
+
+    @Override
+    public void headTooLarge() {
+        headTakes(0);
+        connections.refuseSoon(this, StatusCodes.BAD_REQUEST);
+    }
+
+    /** Whether a part of a request head has arrived, and not all of it. */
+    boolean hasPartialHead() {
+        return headBytes > 0 && state != State.LINGERING;
+    }
+
+    /** When the first part of the incomplete head arrived. */
+    long headSince() {
+        return headSince;
+    }
+
     /** Whether the head of the current request is malformed. */
     boolean isHeadMalformed() {
         return headValidator.isMalformed();
@@ -276,6 +311,7 @@
 
     private void reset() {
         releaseBody();
+        headTakes(0);
         PendingAnswer abandoned = pendingAnswer;
         pendingAnswer = null;
         if (abandoned != null) {
--- a/src/main/java/elderseam/http/ClientConnections.java
+++ b/src/main/java/elderseam/http/ClientConnections.java
@@ -32,6 +32,7 @@
     private final int maxBodyBytesInTransit;
     private int unansweredRequests;
     private int bodyBytesInTransit;
+    private int headBytes;
     private int lingeringCount;
     private boolean sweepScheduled;
     private int unreadStatus = StatusCodes.SERVICE_UNAVAILABLE;
@@ -40,7 +41,8 @@
      * Creates an empty set.
      *
      * @param maxConnections the maximum number of open connections, not counting lingering ones
-     * @param maxBodyBytesInTransit the maximum total size of the request bodies being read on all connections
+     * @param maxBodyBytesInTransit the maximum total size of the request bodies being read on all connections, and of
+     *     their incomplete request heads
      */
     ClientConnections(IoLoop io, int maxConnections, int maxBodyBytesInTransit) {
         this.io = io;
@@ -210,6 +212,30 @@
         bodyBytesInTransit -= bytes;
     }
 
+    /**
+     * An incomplete head has grown by {@code bytes}, or has shrunk. Where such heads exceed the limit on bodies, too, the
+     * connections whose heads are incomplete for longest are refused: what has stalled gives way.
+     */
+    void headsGrew(int bytes) {
+        headBytes += bytes;
+        while (bytes > 0 && headBytes > maxBodyBytesInTransit) {
+            byChannel.values().stream()
+                    .filter(ClientConnection::hasPartialHead)
+                    .min(Comparator.comparingLong(ClientConnection::headSince))
+                    .orElseThrow()
+                    .refuse(unreadStatus);
+        }
+    }
+
+    /** Refuses a connection's request once its input that is being read now is processed. */
+    void refuseSoon(ClientConnection connection, int statusCode) {
+        io.run(() -> {
+            if (byChannel.containsValue(connection) && !connection.isLingering()) {
+                connection.refuse(statusCode);
+            }
+        });
+    }
+
     /** Called when the lingering close of a connection begins. */
     void lingeringStarted() {
         lingeringCount++;
--- a/src/main/java/elderseam/http/RequestHeadValidator.java
+++ b/src/main/java/elderseam/http/RequestHeadValidator.java
@@ -8,7 +8,8 @@
 /**
  * Validates the lines of each request head while its bytes are passed to Undertow. Undertow's parser treats a line
  * without a colon as a header and accepts white space before the colon, which RFC 9112, section 5.1, forbids. Bytes
- * after a head are not validated until {@link #beginHead}.
+ * after a head are not validated until {@link #beginHead}. A head with too many bytes or fields never reaches Undertow, which
+ * would keep an object for each field: further input is discarded, and the owner is told.
  *
  * <p>{@link #isAtEnd} looks whether the client has ended its side; a byte that is read by that look is held back until
  * the next read.
@@ -18,6 +19,21 @@
  * lose the response in transit. Confined to the I/O thread.
  */
 final class RequestHeadValidator extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** Learns how much memory the head that is being read takes. */
+    interface Owner {
+        /** {@code bytes}: an estimate; 0 while no part of a head has arrived, and once it is complete. */
+        void headTakes(int bytes);
+
+        /** The head exceeds its limits: the request must be refused. */
+        void headTooLarge();
+    }
+
+    private static final int MAX_HEAD_BYTES = 16 << 10;
+    private static final int MAX_FIELDS = 64;
+
+    /** What Undertow keeps for each field besides its bytes. */
+    private static final int FIELD_OVERHEAD_BYTES = 256;
+
     /** Once this much input was discarded on a lingering connection, it is closed without waiting for the client. */
     private static final int MAX_DISCARDED_BYTES = 256 << 10;
 
@@ -27,19 +43,23 @@
     /** Shared by all connections, since they are all read on the same I/O thread. */
     private static final ByteBuffer DISCARD_BUFFER = ByteBuffer.allocateDirect(16 << 10);
 
+    private final Owner owner;
     private boolean inHead;
     private boolean inRequestLine;
     private boolean colonSeen; // in the current line
     private boolean malformed;
     private boolean discarding;
     private int lineLength;
+    private int headBytes;
+    private int headFields;
     private int discardedBytes;
 
     /** Holds the byte that was read by {@link #isAtEnd}, or none. */
     private final ByteBuffer heldBack = ByteBuffer.allocate(1).limit(0);
 
-    RequestHeadValidator(StreamSourceConduit next) {
+    RequestHeadValidator(StreamSourceConduit next, Owner owner) {
         super(next);
+        this.owner = owner;
         beginHead();
     }
 
@@ -64,6 +84,8 @@
         inRequestLine = true;
         malformed = false;
         lineLength = 0;
+        headBytes = 0;
+        headFields = 0;
     }
 
     /** Whether at least one byte of the current request was read. */
@@ -92,7 +114,22 @@
         int start = target.position();
         int count = heldBack.hasRemaining() && target.hasRemaining() ? takeHeldBack(target) : super.read(target);
         validate(target, start);
-        return count;
+        if (isHeadWithinLimits()) {
+            return count;
+        }
+        target.position(start);
+        return 0;
+    }
+
+    /** Tells the owner of the head that was read so far, and discards further input if it is too large. */
+    private boolean isHeadWithinLimits() {
+        if (headBytes > MAX_HEAD_BYTES || headFields > MAX_FIELDS) {
+            discardInput();
+            owner.headTooLarge();
+            return false;
+        }
+        owner.headTakes(inHead ? headBytes + headFields * FIELD_OVERHEAD_BYTES : 0);
+        return true;
     }
 
     private int takeHeldBack(ByteBuffer target) {
@@ -126,7 +163,13 @@
         for (int i = 0; i < length; i++) {
             validate(targets[offset + i], starts[i]);
         }
-        return count;
+        if (isHeadWithinLimits()) {
+            return count;
+        }
+        for (int i = 0; i < length; i++) {
+            targets[offset + i].position(starts[i]);
+        }
+        return 0;
     }
 
     private int discard() throws IOException {
@@ -143,6 +186,7 @@
 
     private void validate(ByteBuffer bytes, int start) {
         for (int i = start; inHead && i < bytes.position(); i++) {
+            headBytes++;
             validate((char) (bytes.get(i) & BYTE_MASK));
         }
     }
@@ -163,6 +207,7 @@
             return;
         }
         malformed |= !inRequestLine && !colonSeen;
+        headFields += inRequestLine ? 0 : 1;
         inRequestLine = false;
         colonSeen = false;
         lineLength = 0;
--- a/src/main/java/elderseam/http/RequestReceiver.java
+++ b/src/main/java/elderseam/http/RequestReceiver.java
@@ -3,6 +3,7 @@
 import elderseam.http.HttpServer.Handler;
 import elderseam.http.HttpServer.Request;
 import elderseam.logging.EventLogger;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.Receiver;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
@@ -64,7 +65,8 @@
             next.proceed();
         });
         long length = exchange.getRequestContentLength();
-        boolean reserved = connection.requestStarted(length < 0 ? maxBodyBytes : Math.min(length, maxBodyBytes));
+        boolean reserved = connection.requestStarted(
+                length < 0 ? maxBodyBytes : Math.min(length, maxBodyBytes), hasArrived(exchange, length));
         if (connection.isHeadMalformed() || !isUnambiguouslyFramed(exchange.getRequestHeaders())) {
             refuse(exchange, StatusCodes.BAD_REQUEST);
         } else if (length > maxBodyBytes) {
@@ -76,6 +78,12 @@
         }
     }
 
+    /** Whether a body of {@code length} bytes was read together with the head; false if its length is unknown. */
+    private static boolean hasArrived(HttpServerExchange exchange, long length) {
+        PooledByteBuffer read = ((AbstractServerConnection) exchange.getConnection()).getExtraBytes();
+        return length == 0 || (read != null && length > 0 && read.getBuffer().remaining() >= length);
+    }
+
     private void receiveBody(HttpServerExchange exchange, ClientConnection connection) {
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(maxBodyBytes);
--- a/src/test/java/elderseam/scenario/MemoryBoundsTest.java
+++ b/src/test/java/elderseam/scenario/MemoryBoundsTest.java
@@ -9,10 +9,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Isolated;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** What clients and messages can make the process keep stays within the memory that its limits give it. */
 @Isolated("hundreds of connections at once")
@@ -26,6 +30,13 @@
     /** Long enough that some twenty connections carry the messages. */
     private static final long ANSWER_DELAY_MS = 200;
 
+    private static final int CROWDED_MEMORY_MEGABYTES = 96;
+    private static final int CROWD = 500;
+    private static final int CLIENTS_BETWEEN_USUAL_ONES = 25;
+    private static final int USUAL_BODY_BYTES = 212;
+    private static final int MANY_FIELDS_COUNT = 1_950;
+    private static final int FEW_NAMES = 30;
+    private static final int ALLOWED_FIELDS_COUNT = 55;
     private static final int CLIENT_TIMEOUT_MS = 5_000;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -53,6 +64,92 @@
         }
     }
 
+    /** Guards against heads of very many fields, which take a hundred times their bytes, and against bodies that stall. */
+    @ParameterizedTest
+    @EnumSource
+    void aCrowdThatStallsLeavesTheOthersTheirMemory(Stalled stalled) throws Exception {
+        try (Scenario scenario = new Scenario(folder);
+                AnsweringEndpoint endpoint = new AnsweringEndpoint(0)) {
+            scenario.setEndpointServer("h1", endpoint.server());
+            scenario.launcher().setLimits(FILE_LIMIT, CROWDED_MEMORY_MEGABYTES);
+            scenario.start();
+            String address = scenario.program().await(Milestone.CLIENTS_LISTENING);
+            assertServes(address, endpoint, "before");
+            List<Socket> crowd = new ArrayList<>();
+            try {
+                for (int i = 0; i < CROWD; i++) {
+                    Socket client = connect(address);
+                    crowd.add(client);
+                    client.getOutputStream().write(stalled.start(i).getBytes(StandardCharsets.US_ASCII));
+                    if (i % CLIENTS_BETWEEN_USUAL_ONES == 0) {
+                        assertEquals(202, post(address, "beside-" + i, USUAL_BODY_BYTES), "beside " + i);
+                    }
+                }
+                assertServes(address, endpoint, "beside");
+            } finally {
+                for (Socket client : crowd) {
+                    client.close();
+                }
+            }
+            assertServes(address, endpoint, "after");
+        }
+    }
+
+    /** What a client of the crowd sends before it stops. */
+    enum Stalled {
+        MANY_FIELDS {
+            @Override
+            String start(int client) {
+                return manyFields(client, MANY_FIELDS_COUNT);
+            }
+        },
+        MANY_FIELDS_OF_FEW_NAMES {
+            @Override
+            String start(int client) {
+                return manyFields(client, FEW_NAMES);
+            }
+        },
+        ALLOWED_FIELDS {
+            @Override
+            String start(int client) {
+                StringBuilder head = new StringBuilder(head("fields-" + client, 0));
+                head.setLength(head.length() - "\r\n".length());
+                for (int i = 0; i < ALLOWED_FIELDS_COUNT; i++) {
+                    head.append("field-")
+                            .append(i)
+                            .append(": ")
+                            .append("x".repeat(200))
+                            .append("\r\n");
+                }
+                return head.toString();
+            }
+        },
+        HALF_OF_A_BODY {
+            @Override
+            String start(int client) {
+                return head("half-" + client, LARGE_BODY_BYTES) + "x".repeat(LARGE_BODY_BYTES / 2);
+            }
+        },
+        MOST_OF_A_BODY {
+            @Override
+            String start(int client) {
+                return head("most-" + client, 8_192) + "x".repeat(8_000);
+            }
+        };
+
+        abstract String start(int client);
+
+        private static String manyFields(int client, int distinctNames) {
+            StringBuilder head = new StringBuilder(head("fields-" + client, 0));
+            head.setLength(head.length() - "\r\n".length());
+            for (int i = 0; i < MANY_FIELDS_COUNT; i++) {
+                head.append(Integer.toString(i % distinctNames, Character.MAX_RADIX))
+                        .append(":\r\n");
+            }
+            return head.toString();
+        }
+    }
+
     private static void assertServes(String address, AnsweringEndpoint endpoint, String id) throws Exception {
         assertEquals(202, post(address, id, 0), id);
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(RawHttpSocket.PATIENCE_S);
