--- a/src/main/java/elderseam/app/DispatcherServer.java
+++ b/src/main/java/elderseam/app/DispatcherServer.java
@@ -162,6 +162,7 @@
                 new EndpointConnectionPool(io, idleNs, ResourceLimits.PLATFORM_CONNECTIONS, MAX_PLATFORM_ANSWER_BYTES);
         dispatcher = new RequestDispatcher(policySettings, config.seed(), journal, io.clock, io);
         dispatcher.limitHeldBytes(limits.heldBytes());
+        dispatcher.setZones(config.settings().list("localities"));
         reportToDispatcher(platform);
         liveConfiguration = readLiveConfiguration(journal, variables);
         EndpointAddress discoveryAddress = liveConfiguration.discoveryAddress(settings);
--- a/src/main/java/elderseam/core/ActiveRequest.java
+++ b/src/main/java/elderseam/core/ActiveRequest.java
@@ -147,6 +147,9 @@
     /** If {@link #mayHaveRun}: until when endpoints deduplicate a retry, for a class with idempotency keys. */
     long deduplicatedUntil;
 
+    /** If {@link #mayHaveRun}: the name of the zone of the first attempt that may have run; empty if unknown. */
+    String mayHaveRunZone = "";
+
     /** The attempt in flight, or null. */
     EndpointCall inFlightCall;
 
@@ -172,6 +175,7 @@
         released.attempts = attempts;
         released.mayHaveRun = mayHaveRun;
         released.deduplicatedUntil = deduplicatedUntil;
+        released.mayHaveRunZone = mayHaveRunZone;
         released.outcome = outcome;
         released.acknowledged = acknowledged;
         released.bodyReleased = true;
@@ -192,6 +196,7 @@
         bounded.attempts = attempts;
         bounded.mayHaveRun = mayHaveRun;
         bounded.deduplicatedUntil = deduplicatedUntil;
+        bounded.mayHaveRunZone = mayHaveRunZone;
         return bounded;
     }
 
--- a/src/main/java/elderseam/core/AttemptTracker.java
+++ b/src/main/java/elderseam/core/AttemptTracker.java
@@ -90,7 +90,7 @@
         request.attempts++;
         ActiveAttempt attempt = track(request, number, begin.endpoint(), start);
         log.attemptBegan(request, number, begin.endpoint());
-        if (!journal.attemptBegins(request.id())) {
+        if (!journal.attemptBegins(request.id(), attempt.zone)) {
             // the attempt must not be sent without a record; a local failure says nothing about the endpoint
             loop.at(
                     start,
@@ -140,6 +140,9 @@
         final String endpoint;
         final long start;
 
+        /** The name of its endpoint's zone, empty if unknown. */
+        private final String zone;
+
         private boolean delivered; // by the response, not by a late one
         private boolean over;
         private boolean releaseDue;
@@ -149,6 +152,7 @@
             this.number = number;
             this.endpoint = endpoint;
             this.start = start;
+            this.zone = policy.zoneOf(endpoint);
         }
 
         @Override
@@ -199,7 +203,7 @@
         @Override
         public void refuted() {
             if (delivered) {
-                corrections.refuted(request, endpoint, start);
+                corrections.refuted(request, endpoint, zone, start);
             }
         }
 
--- a/src/main/java/elderseam/core/Journal.java
+++ b/src/main/java/elderseam/core/Journal.java
@@ -103,13 +103,27 @@
         return 2 * (index.liveBytes() + additionalBytes) <= capacity;
     }
 
-    /** Records that an attempt is about to be sent. Returns false if the record could not be written. */
+    /** As {@link #attemptBegins(String, String)}, with an unknown zone. */
     public boolean attemptBegins(String id) {
-        long steadyMs = clock.steadyMs();
-        if (!log.append(JournalRecordEncoder.attemptBegan(id, steadyMs))) {
+        return attemptBegins(id, "");
+    }
+
+    /**
+     * Records that an attempt is about to be sent. Returns false if the record could not be written.
+     *
+     * @param zone the name of its endpoint's zone; empty if unknown
+     */
+    public boolean attemptBegins(String id, String zone) {
+        return attemptBegan(id, clock.now(), zone);
+    }
+
+    /** As {@link #attemptBegins(String, String)}, for an attempt that began at {@code start}. */
+    boolean attemptBegan(String id, long start, String zone) {
+        long steadyMs = clock.toSteady(start);
+        if (!log.append(JournalRecordEncoder.attemptBegan(id, steadyMs, zone))) {
             return false;
         }
-        index.attemptBegan(id, steadyMs);
+        index.attemptBegan(id, steadyMs, zone);
         return true;
     }
 
--- a/src/main/java/elderseam/core/JournalEntry.java
+++ b/src/main/java/elderseam/core/JournalEntry.java
@@ -13,8 +13,6 @@
     /** Capacity that a completed message is counted with, in bytes. */
     private static final int COMPLETED_BYTES = 160;
 
-    private static final long NEVER = 0;
-
     final byte frontend;
     final long retainUntilMs;
 
@@ -31,9 +29,7 @@
     boolean notificationPending;
 
     private final int recordBytes;
-    private int attempts;
-    private long firstMayHaveRunMs = NEVER;
-    private long attemptBeganMs = NEVER;
+    private AttemptHistory history = AttemptHistory.NONE;
 
     private JournalEntry(
             byte frontend,
@@ -86,39 +82,32 @@
 
     /** Whether an attempt is in flight. */
     boolean hasAttemptInFlight() {
-        return attemptBeganMs != NEVER;
+        return history.hasAttemptInFlight();
     }
 
     /** Records the start of an attempt. A previous attempt whose end was never recorded may have run. */
-    void attemptBegan(long steadyMs) {
-        if (hasAttemptInFlight()) {
-            attemptEnded(true);
-        }
-        attempts++;
-        attemptBeganMs = steadyMs;
+    void attemptBegan(long steadyMs, String zone) {
+        history = history.afterStart(steadyMs, zone);
     }
 
     /** Records the end of the attempt in flight. */
     void attemptEnded(boolean mayHaveRun) {
-        if (mayHaveRun && firstMayHaveRunMs == NEVER) {
-            firstMayHaveRunMs = attemptBeganMs;
-        }
-        attemptBeganMs = NEVER;
+        history = history.afterEnd(mayHaveRun);
     }
 
     /** Restores the state of the attempts from the single record of a compacted journal. */
-    void restoreAttempts(int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
-        this.attempts = attempts;
-        this.firstMayHaveRunMs = firstMayHaveRunMs;
-        this.attemptBeganMs = attemptBeganMs;
+    void restoreAttempts(AttemptHistory restored) {
+        history = restored;
     }
 
     /** Creates the request in the state in which its process ended. Only for an unfinished message. */
     ActiveRequest toRequest(Clock clock) {
         ActiveRequest request = new ActiveRequest(message);
-        request.attempts = attempts;
-        request.mayHaveRun = firstMayHaveRunMs != NEVER;
-        request.deduplicatedUntil = Math.min(clock.now(), clock.fromSteady(firstMayHaveRunMs)); // never in the future
+        request.attempts = history.attempts();
+        request.mayHaveRun = history.mayHaveRun();
+        request.mayHaveRunZone = history.firstMayHaveRunZone();
+        long firstMayHaveRun = clock.fromSteady(history.firstMayHaveRunMs());
+        request.deduplicatedUntil = Math.min(clock.now(), firstMayHaveRun); // never in the future
         return request;
     }
 
@@ -133,6 +122,6 @@
         }
         return List.of(
                 JournalRecordEncoder.accepted(message, deadlineMs, retainUntilMs),
-                JournalRecordEncoder.attemptState(id, attempts, firstMayHaveRunMs, attemptBeganMs));
+                JournalRecordEncoder.attemptState(id, history));
     }
 }
--- a/src/main/java/elderseam/core/JournalIndex.java
+++ b/src/main/java/elderseam/core/JournalIndex.java
@@ -103,10 +103,10 @@
     }
 
     @Override
-    public void attemptBegan(String id, long steadyMs) {
+    public void attemptBegan(String id, long steadyMs, String zone) {
         JournalEntry entry = entries.get(id);
         if (entry != null) {
-            entry.attemptBegan(steadyMs);
+            entry.attemptBegan(steadyMs, zone);
         }
     }
 
@@ -125,10 +125,10 @@
     }
 
     @Override
-    public void attemptState(String id, int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
+    public void attemptState(String id, AttemptHistory history) {
         JournalEntry entry = entries.get(id);
         if (entry != null) {
-            entry.restoreAttempts(attempts, firstMayHaveRunMs, attemptBeganMs);
+            entry.restoreAttempts(history);
         }
     }
 
--- a/src/main/java/elderseam/core/JournalRecordDecoder.java
+++ b/src/main/java/elderseam/core/JournalRecordDecoder.java
@@ -36,10 +36,11 @@
             case JournalRecordFormat.DEDUPLICATION_KEY -> handler.deduplicationKey(id, in.readUTF());
             case JournalRecordFormat.CLOCK -> handler.clock(id, in.readLong(), in.readLong());
             case JournalRecordFormat.ORDER_KEY -> handler.orderKey(id, in.readUTF());
-            case JournalRecordFormat.ATTEMPT_BEGAN -> handler.attemptBegan(id, in.readLong());
+            case JournalRecordFormat.ATTEMPT_BEGAN -> handler.attemptBegan(id, in.readLong(), readZone(in));
             case JournalRecordFormat.ATTEMPT_ENDED -> handler.attemptEnded(id, in.readBoolean());
             case JournalRecordFormat.ATTEMPT_STATE ->
-                handler.attemptState(id, in.readInt(), in.readLong(), in.readLong());
+                handler.attemptState(
+                        id, new AttemptHistory(in.readInt(), in.readLong(), in.readLong(), readZone(in), readZone(in)));
             case JournalRecordFormat.COMPLETED -> handler.completed(id, readCompleted(in));
             case JournalRecordFormat.NOTIFIED -> handler.notified(id);
             case JournalRecordFormat.SCHEME -> handler.scheme(id, readBytes(in), recordBytes);
@@ -89,6 +90,11 @@
         return JournalEntry.completed(frontend, retainUntilMs, outcome, notificationPending);
     }
 
+    /** The name of a zone; empty in a record of a release that did not write it. */
+    private static String readZone(DataInputStream in) throws IOException {
+        return in.available() > 0 ? in.readUTF() : "";
+    }
+
     private static byte[] readBytes(DataInputStream in) throws IOException {
         byte[] bytes = new byte[in.readInt()];
         in.readFully(bytes);
--- a/src/main/java/elderseam/core/JournalRecordEncoder.java
+++ b/src/main/java/elderseam/core/JournalRecordEncoder.java
@@ -4,6 +4,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 
 /** Encodes the journal's records; times are milliseconds of the steady clock. */
 final class JournalRecordEncoder {
@@ -83,9 +84,16 @@
         return encode(JournalRecordFormat.ORDER_KEY, id, out -> out.writeUTF(key));
     }
 
-    /** Records that an attempt is about to be sent. */
-    static byte[] attemptBegan(String id, long steadyMs) {
-        return encode(JournalRecordFormat.ATTEMPT_BEGAN, id, out -> out.writeLong(steadyMs));
+    /**
+     * Records that an attempt is about to be sent.
+     *
+     * @param zone the name of its endpoint's zone; empty if unknown
+     */
+    static byte[] attemptBegan(String id, long steadyMs, String zone) {
+        return encode(JournalRecordFormat.ATTEMPT_BEGAN, id, out -> {
+            out.writeLong(steadyMs);
+            writeZones(out, zone);
+        });
     }
 
     /** Records the end of the attempt in flight. */
@@ -94,14 +102,24 @@
     }
 
     /** Records the complete state of a message's attempts in one record. */
-    static byte[] attemptState(String id, int attempts, long firstMayHaveRunMs, long attemptBeganMs) {
+    static byte[] attemptState(String id, AttemptHistory history) {
         return encode(JournalRecordFormat.ATTEMPT_STATE, id, out -> {
-            out.writeInt(attempts);
-            out.writeLong(firstMayHaveRunMs);
-            out.writeLong(attemptBeganMs);
+            out.writeInt(history.attempts());
+            out.writeLong(history.firstMayHaveRunMs());
+            out.writeLong(history.attemptBeganMs());
+            writeZones(out, history.firstMayHaveRunZone(), history.attemptZone());
         });
     }
 
+    /** Zones that are not known are left out at the end, as in the records of releases that wrote none. */
+    private static void writeZones(DataOutputStream out, String... zones) throws IOException {
+        if (Arrays.stream(zones).anyMatch(zone -> !zone.isEmpty())) {
+            for (String zone : zones) {
+                out.writeUTF(zone);
+            }
+        }
+    }
+
     /** Records the final outcome of a message. */
     static byte[] completed(String id, JournalEntry entry) {
         return encode(JournalRecordFormat.COMPLETED, id, out -> {
--- a/src/main/java/elderseam/core/JournalRecordHandler.java
+++ b/src/main/java/elderseam/core/JournalRecordHandler.java
@@ -26,11 +26,11 @@
 
     void acceptedDuplicate(ActiveRequest.Message message, int recordBytes);
 
-    void attemptBegan(String id, long steadyMs);
+    void attemptBegan(String id, long steadyMs, String zone);
 
     void attemptEnded(String id, boolean mayHaveRun);
 
-    void attemptState(String id, int attempts, long firstMayHaveRunMs, long attemptBeganMs);
+    void attemptState(String id, AttemptHistory history);
 
     void completed(String id, JournalEntry entry);
 
--- a/src/main/java/elderseam/core/OutcomeCorrection.java
+++ b/src/main/java/elderseam/core/OutcomeCorrection.java
@@ -47,9 +47,10 @@
     /**
      * The delivery of a completed request is refuted.
      *
+     * @param zone the name of the endpoint's zone; empty if unknown
      * @param attemptStart when the attempt that seemed to deliver it began
      */
-    void refuted(ActiveRequest request, String endpoint, long attemptStart) {
+    void refuted(ActiveRequest request, String endpoint, String zone, long attemptStart) {
         boolean transferred = dispatcher.handover().isTransferred();
         boolean again = !transferred && !request.isBodyReleased() && mayAttemptAgain(request, attemptStart);
         metrics.deliveryRefuted();
@@ -66,8 +67,9 @@
         corrected.attempts = request.attempts;
         corrected.mayHaveRun = true;
         corrected.deduplicatedUntil = attemptStart;
+        corrected.mayHaveRunZone = zone;
         corrected.acknowledged = request.acknowledged;
-        if (again && journal.accepted(request.message) && journal.attemptBegins(request.id())) {
+        if (again && journal.accepted(request.message) && journal.attemptBegan(request.id(), attemptStart, zone)) {
             journal.attemptEnded(request.id(), true);
             dispatcher.restore(corrected);
             dispatcher.resubmit(List.of(corrected));
--- a/src/main/java/elderseam/core/PolicyFacade.java
+++ b/src/main/java/elderseam/core/PolicyFacade.java
@@ -42,6 +42,7 @@
     private final ArrayDeque<PolicyDecision> decisions = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private long now;
+    private ZoneNames zones = new ZoneNames(List.of());
     private boolean eventsPending;
 
     /** {@code seed}: seeds the policy's random choices; {@code breakers}: notified of breaker changes. */
@@ -74,10 +75,26 @@
         if (request.attempts == 0) {
             policy.request(now, policyRequest);
         } else {
-            policy.restored(now, policyRequest, request.attempts, request.mayHaveRun, request.deduplicatedUntil);
+            policy.restored(
+                    now,
+                    policyRequest,
+                    request.attempts,
+                    request.mayHaveRun,
+                    request.deduplicatedUntil,
+                    zones.numberOf(request.mayHaveRunZone));
         }
     }
 
+    /** Sets the names of the zones, in the order of the settings. */
+    void setZones(ZoneNames names) {
+        zones = names;
+    }
+
+    /** The name of a listed endpoint's zone; empty if it is not known. */
+    String zoneOf(String endpoint) {
+        return zones.nameOf(policy.zoneOf(endpoint));
+    }
+
     private static PolicyRequest policyRequestOf(ActiveRequest request) {
         ActiveRequest.Message message = request.message;
         return new PolicyRequest(
--- a/src/main/java/elderseam/core/RequestDispatcher.java
+++ b/src/main/java/elderseam/core/RequestDispatcher.java
@@ -89,6 +89,11 @@
         requests.limitBodyBytes(maxBytes);
     }
 
+    /** Sets the names of the zones, in the order of the settings; must be called before the recovery. */
+    public void setZones(List<String> names) {
+        policy.setZones(new ZoneNames(names));
+    }
+
     /** Registers a frontend under its number, and the sender for the requests that it submits. */
     public void registerFrontend(byte number, Frontend frontend, AttemptSender sender) {
         frontends.put(number, frontend);
@@ -109,9 +114,8 @@
     }
 
     /**
-     * Begins or ends an operator's drain of an endpoint; repeating either has no effect. The change is recorded in the
-     * journal before this method returns, so that a drain outlasts the process. While an endpoint is drained, the
-     * policy sees it as draining even if the endpoint list has it as ready.
+     * Begins or ends an operator's drain of an endpoint; repeating either has no effect. The change is in the journal before
+     * this method returns. While an endpoint is drained, the policy sees it as draining, whatever the endpoint list says.
      */
     public DrainResult setDrained(String endpoint, boolean drained) {
         if (!drains.isKnown(endpoint)) {
@@ -303,18 +307,13 @@
         policy.applyHealthReports(clock.now(), destination, suspicion, probingDispatchers);
     }
 
-    /**
-     * Sets this dispatcher's share of the fleet's work until the next call; see {@link PolicyEvents#shareChanged}.
-     */
+    /** Sets this dispatcher's share of the fleet's work until the next call; see {@link PolicyEvents#shareChanged}. */
     public void setFleetShare(int dispatchers, Predicate<String> preferred, double retryRatio) {
         policy.setFleetShare(clock.now(), dispatchers, preferred, retryRatio);
         decisions.run();
     }
 
-    /**
-     * Defers attempts at these endpoints by {@code pauseNs}, as after a Retry-After, because another dispatcher probes
-     * them for the whole fleet.
-     */
+    /** Defers attempts at these endpoints, as after a Retry-After: another dispatcher probes them for the whole fleet. */
     public void deferAttempts(List<String> endpoints, long pauseNs) {
         endpoints.forEach(endpoint -> policy.deferAttempts(clock.now(), endpoint, pauseNs));
     }
@@ -345,10 +344,8 @@
     }
 
     /**
-     * Runs a turn of the policy after an attempt has ended. During recovery there is one turn for all responses that
-     * are read in one pass, because each turn examines every waiting request. Outside recovery each response has a
-     * separate turn: one turn per pass cost 0.006 of the score G on a simulated day with misbehaving clients and
-     * corrupted responses.
+     * Runs a turn of the policy after an attempt has ended. During recovery there is one turn for all responses of a pass,
+     * since each turn examines every waiting request.
      */
     void attemptEnded() {
         if (recovering) {
--- a/src/main/java/elderseam/policy/DispatchPolicy.java
+++ b/src/main/java/elderseam/policy/DispatchPolicy.java
@@ -87,12 +87,20 @@
     }
 
     @Override
-    public void restored(long now, PolicyRequest message, int attempts, boolean mayHaveRun, long keyValidUntil) {
+    public void restored(
+            long now, PolicyRequest message, int attempts, boolean mayHaveRun, long keyValidUntil, int keyZone) {
         PendingRequest request = accept(now, message);
         request.firstTurn = 0;
         request.attempts = attempts;
         request.mayHaveRun = mayHaveRun;
         request.keyValidUntil = keyValidUntil;
+        request.keyZone = keyZone;
+    }
+
+    @Override
+    public int zoneOf(String endpoint) {
+        EndpointState listed = directory.endpoints.get(endpoint);
+        return listed == null ? UNKNOWN_ZONE : listed.zone;
     }
 
     @Override
--- a/src/main/java/elderseam/policy/PendingRequest.java
+++ b/src/main/java/elderseam/policy/PendingRequest.java
@@ -23,7 +23,7 @@
     boolean finished;
     /** Whether an attempt may have taken effect. */
     boolean mayHaveRun;
-    /** The zone of the first attempt that may have run. */
+    /** The zone of the first attempt that may have run; {@link PolicyEvents#UNKNOWN_ZONE} if it is not known. */
     int keyZone;
     /** The time until which the destination recognizes the idempotency key. */
     long keyValidUntil;
--- a/src/main/java/elderseam/policy/PolicyEvents.java
+++ b/src/main/java/elderseam/policy/PolicyEvents.java
@@ -16,6 +16,9 @@
     /** The endpoint list changed, was received in full, or could not be fetched. The entries are copied. */
     void endpoints(long now, ListUpdateKind kind, List<ListedEndpoint> entries);
 
+    /** The zone of an attempt that is not known: it may have run in any. */
+    int UNKNOWN_ZONE = -1;
+
     /** A request was accepted. It gets exactly one final outcome: delivered, rejected, failed or withdrawn. */
     void request(long now, PolicyRequest request);
 
@@ -26,8 +29,12 @@
      * @param mayHaveRun whether one of them may have taken effect
      * @param keyValidUntil if one of them may have taken effect and the request has an idempotency key: the time until
      *     which it may be attempted again
+     * @param keyZone if one of them may have taken effect: the zone of the first such attempt, or {@link #UNKNOWN_ZONE}
      */
-    void restored(long now, PolicyRequest request, int attempts, boolean mayHaveRun, long keyValidUntil);
+    void restored(long now, PolicyRequest request, int attempts, boolean mayHaveRun, long keyValidUntil, int keyZone);
+
+    /** The zone of a listed endpoint; {@link #UNKNOWN_ZONE} if it is not listed. */
+    int zoneOf(String endpoint);
 
     /**
      * Appends a request that the policy does not know to its ordering key; it blocks the later requests of the key
--- a/src/main/java/elderseam/policy/RetryPolicy.java
+++ b/src/main/java/elderseam/policy/RetryPolicy.java
@@ -23,10 +23,15 @@
 
     /**
      * Whether the request may be attempted at any endpoint. A request with an idempotency key that may have run may be
-     * attempted again only while the destination recognizes the key.
+     * attempted again only while the destination recognizes the key, and only if the zone is known that does.
      */
     static boolean mayAttempt(PendingRequest request, long now) {
-        return !request.mayHaveRun || request.isSafe() || (request.isKeyed() && now < request.keyValidUntil);
+        return !request.mayHaveRun || request.isSafe() || (request.isKeyed() && isKeyRecognized(request, now));
+    }
+
+    private static boolean isKeyRecognized(PendingRequest request, long now) {
+        boolean zoneUnknown = request.requestClass.keyPerZone() && request.keyZone == PolicyEvents.UNKNOWN_ZONE;
+        return now < request.keyValidUntil && !zoneUnknown;
     }
 
     /** Whether the request may be attempted in {@code zone}: an idempotency key may be known only in its first zone. */
--- a/src/test/java/elderseam/core/DispatcherHarness.java
+++ b/src/test/java/elderseam/core/DispatcherHarness.java
@@ -57,6 +57,9 @@
     /** The message id of each attempt so far, in the order of {@link #attempts}. */
     final List<String> attemptIds = new ArrayList<>();
 
+    /** The endpoint of each attempt so far, in the order of {@link #attempts}. */
+    final List<String> attemptEndpoints = new ArrayList<>();
+
     boolean stalled;
 
     /** Thrown by the next attempt's sender; null: nothing is. */
@@ -213,6 +216,7 @@
         throwIfFailing();
         attempts.add(listener);
         attemptIds.add(message.id());
+        attemptEndpoints.add(endpoint);
         return () -> listener.ended(
                 AttemptOutcome.unanswered(AttemptOutcome.Progress.WRITTEN, AttemptOutcome.Status.ABANDONED));
     }
--- a/src/test/java/elderseam/policy/OrderedKeyTest.java
+++ b/src/test/java/elderseam/policy/OrderedKeyTest.java
@@ -34,7 +34,7 @@
         String third = harness.submit(ORDERED_CLASS, KEY, 1);
         long deadline = harness.now + 5_000 * MS;
         harness.policy.restored(
-                harness.now, new PolicyRequest("second", ORDERED_CLASS, 0, KEY, deadline, 1, false), 0, false, 0);
+                harness.now, new PolicyRequest("second", ORDERED_CLASS, 0, KEY, deadline, 1, false), 0, false, 0, 0);
         assertEquals("first", harness.policy.orderedKey(harness.now, third).first());
         assertEquals(3, harness.policy.orderedKey(harness.now, third).unsettled());
     }
@@ -44,7 +44,7 @@
     void anAdoptedAttemptCountsForItsKey() {
         long deadline = harness.now + 5_000 * MS;
         harness.policy.restored(
-                harness.now, new PolicyRequest("adopted", ORDERED_CLASS, 0, KEY, deadline, 1, false), 1, false, 0);
+                harness.now, new PolicyRequest("adopted", ORDERED_CLASS, 0, KEY, deadline, 1, false), 1, false, 0, 0);
         harness.policy.adopted(harness.now, "adopted", "a:1", harness.now - 10 * MS);
         harness.endTurn();
         assertEquals(new OrderedKeyCounts(1, 1, 0, 1), harness.policy.orderedKeys(harness.now));
--- a/src/test/java/elderseam/policy/SuccessionTest.java
+++ b/src/test/java/elderseam/policy/SuccessionTest.java
@@ -98,7 +98,7 @@
         SubmittedRequest sent = harness.requests.get(id);
         successor.requests.put(id, sent);
         successor.unfinished.put(id, sent);
-        successor.policy.restored(successor.now, sent.request, 1, false, 0);
+        successor.policy.restored(successor.now, sent.request, 1, false, 0, 0);
         successor.policy.adopted(successor.now, id, adopted.endpoint(), adopted.start());
         successor.endTurn();
         PolicyRequest second =
