Platform clients: a message whose client had left before it was read is not accepted

Cause: what a socket holds is read and handled although its end lies right behind it. The look for surplus input after each request saw that end and took it for no input.

Change: that look tells the end from no input, at no further call; PlatformFrontend rejects such a message (503 with Retry-After) unless its id is known, in which case it is answered as ever. During an upgrade, SuccessorProxy looks once more before it passes a queued message on, or hands it back after a rollback.

Who relied on being processed after a half close: platform clients that end their sending side with the request and read on. Health checks that half-close are answered as before. Events too: their senders repeat them under the same identity, so that they may run (EventFrontend unchanged). Between acceptance and the 202 nothing changes: that is the same pass of the thread.

Tests: StalledProcessTest.aMessageWhoseClientLeftDuringAStallIsNotTakenOn (failed before: 202 in place of 503), and aHealthCheckThatHalfClosesIsAnswered.

--- a/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
+++ b/src/main/java/elderseam/frontend/platform/PlatformFrontend.java
@@ -2,6 +2,7 @@
 
 import elderseam.core.ActiveRequest;
 import elderseam.core.AdmissionRules;
+import elderseam.core.Clock;
 import elderseam.core.FinalOutcome;
 import elderseam.core.Frontend;
 import elderseam.core.Lifecycle;
@@ -19,7 +20,8 @@
 /**
  * The front end for the platform's clients. A request is answered immediately: as accepted, or with its final outcome
  * if that is already known. The platform is notified if an accepted request is later rejected or fails; a delivery
- * needs no notification. Confined to the I/O thread.
+ * needs no notification. A message whose client has left before it was read is not accepted: the client has given it up, and
+ * may have submitted it elsewhere under another id. Confined to the I/O thread.
  */
 public final class PlatformFrontend implements Frontend {
     /** The number of this front end. It is stored in the journal and sent in handovers, so it must never change. */
@@ -29,6 +31,9 @@
     public static final int MAX_BODY_BYTES = 64 << 10;
 
     private static final String READINESS_PATH = "/health/ready";
+    /** For a client that has ended its sending side alone, and reads. */
+    private static final long CLIENT_LEFT_RETRY_AFTER_NS = 100 * Clock.MILLISECOND_NS;
+
     private static final double NS_PER_SECOND = 1e9;
 
     private final RequestDispatcher dispatcher;
@@ -76,6 +81,10 @@
             answerer.answer(e.status(), Map.of(), e.getMessage() + "\n");
             return;
         }
+        if (answerer.hadClientLeft() && !dispatcher.isKnown(message.id())) {
+            answer(FinalOutcome.rejected(CLIENT_LEFT_RETRY_AFTER_NS), answerer);
+            return;
+        }
         Optional<FinalOutcome> outcome = submit(request, message);
         if (outcome.isEmpty()) {
             answerer.answer(202, Map.of(), "");
--- a/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
+++ b/src/main/java/elderseam/frontend/platform/SuccessorProxy.java
@@ -73,7 +73,11 @@
     public void handleQueuedLocally(HttpServer.Handler handler) {
         List<QueuedRequest> queued = List.copyOf(queue);
         queue.clear();
-        queued.forEach(request -> handler.handle(withUpdatedRemainingTime(request), request.answerer));
+        for (QueuedRequest request : queued) {
+            if (!rejectIfClientLeft(request)) {
+                handler.handle(withUpdatedRemainingTime(request), request.answerer);
+            }
+        }
     }
 
     /** Whether no request is queued or in flight. */
@@ -87,7 +91,19 @@
         }
     }
 
+    /** A message that its client has given up while it was queued is not passed on. Returns whether that is so. */
+    private static boolean rejectIfClientLeft(QueuedRequest queued) {
+        boolean left = queued.request.method().equals("POST") && queued.answerer.hasClientLeft();
+        if (left) {
+            queued.answerer.answer(503, Map.of("Retry-After", RETRY_AFTER_S), "");
+        }
+        return left;
+    }
+
     private void forward(QueuedRequest queued) {
+        if (rejectIfClientLeft(queued)) {
+            return;
+        }
         HttpServer.Request request = withUpdatedRemainingTime(queued);
         HttpRequest forwarded =
                 new HttpRequest(request.method(), request.target(), endToEndHeaders(request), request.body());
--- a/src/main/java/elderseam/http/HttpServer.java
+++ b/src/main/java/elderseam/http/HttpServer.java
@@ -66,6 +66,19 @@
          * its connection has ended or the server has answered it itself. Not run after {@link #answer}.
          */
         default void onAbandoned(Runnable listener) {}
+
+        /**
+         * Whether the client had ended its sending side, or its connection had failed, when the request was passed to the
+         * handler. It may still read the response.
+         */
+        default boolean hadClientLeft() {
+            return false;
+        }
+
+        /** Whether that is so now. Reads from the socket. */
+        default boolean hasClientLeft() {
+            return false;
+        }
     }
 
     /** The frontend's handler of requests. */
--- a/src/main/java/elderseam/http/PendingAnswer.java
+++ b/src/main/java/elderseam/http/PendingAnswer.java
@@ -18,11 +18,29 @@
             Map.of(Headers.CONNECTION_STRING, "close", Headers.RETRY_AFTER_STRING, "1");
 
     private final Writer writer;
+    private final ClientConnection connection;
+    private final boolean clientLeft;
     private Runnable onAbandoned = () -> {};
     private boolean done;
 
-    PendingAnswer(Writer writer) {
+    /**
+     * @param connection the client's; null if it was closed
+     * @param clientLeft whether the client had ended its side when the request had arrived
+     */
+    PendingAnswer(Writer writer, ClientConnection connection, boolean clientLeft) {
         this.writer = writer;
+        this.connection = connection;
+        this.clientLeft = clientLeft;
+    }
+
+    @Override
+    public boolean hadClientLeft() {
+        return clientLeft;
+    }
+
+    @Override
+    public boolean hasClientLeft() {
+        return clientLeft || connection == null || connection.isAbandoned();
     }
 
     @Override
--- a/src/main/java/elderseam/http/RequestReceiver.java
+++ b/src/main/java/elderseam/http/RequestReceiver.java
@@ -123,20 +123,27 @@
         return encodings.size() == 1 && encodings.getFirst().strip().equalsIgnoreCase("chunked");
     }
 
-    /**
-     * Whether surplus input follows the request: its declared length was wrong, or the client sent another request
-     * before it received the response.
-     */
-    private static boolean hasSurplusInput(HttpServerExchange exchange) {
+    /** What follows a request in the input. */
+    private enum NextInput {
+        /** Nothing so far. */
+        NONE,
+        /** The declared length was wrong, or the client sent another request before it received the response. */
+        SURPLUS,
+        /** The client has ended its side, or the connection has failed. */
+        END
+    }
+
+    private static NextInput nextInput(HttpServerExchange exchange) {
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
         if (connection.getExtraBytes() != null
                 && connection.getExtraBytes().getBuffer().hasRemaining()) {
-            return true;
+            return NextInput.SURPLUS;
         }
         try {
-            return connection.getOriginalSourceConduit().read(ByteBuffer.allocate(1)) > 0;
+            int count = connection.getOriginalSourceConduit().read(ByteBuffer.allocate(1));
+            return count > 0 ? NextInput.SURPLUS : count == 0 ? NextInput.NONE : NextInput.END;
         } catch (IOException e) {
-            return false; // the client has disconnected; writing the response will fail
+            return NextInput.END;
         }
     }
 
@@ -155,7 +162,8 @@
     }
 
     private void handle(HttpServerExchange exchange, byte[] body) {
-        if (hasSurplusInput(exchange)) {
+        NextInput next = nextInput(exchange);
+        if (next == NextInput.SURPLUS) {
             refuse(exchange, StatusCodes.BAD_REQUEST);
             return;
         }
@@ -166,8 +174,9 @@
                 exchange.getRequestHeaders(),
                 body,
                 exchange.getSourceAddress());
-        PendingAnswer answer = new PendingAnswer((code, headers, text) -> answer(exchange, code, headers, text));
         ClientConnection connection = connections.get(channel(exchange));
+        PendingAnswer answer = new PendingAnswer(
+                (code, headers, text) -> answer(exchange, code, headers, text), connection, next == NextInput.END);
         if (connection != null) {
             connection.processingStarts(answer);
         }
--- a/src/test/java/elderseam/scenario/StalledProcessTest.java
+++ b/src/test/java/elderseam/scenario/StalledProcessTest.java
@@ -113,6 +113,48 @@
                 .replace("{taken}", taken));
     }
 
+    /** Guards against a message that runs although its client had left before it was read, and submitted it elsewhere. */
+    @Test
+    void aMessageWhoseClientLeftDuringAStallIsNotTakenOn() throws Exception {
+        play(folder, """
+                c send POST /rent-payment; {to} X-Txn: known
+                c expect 202
+                h1 expect X-Txn: known
+                h1 send 200
+                platform wait quiet 200
+                reset send GET /health/ready
+                reset expect 200
+                fin send GET /health/ready
+                fin expect 200
+                relay pause
+                reset send POST /rent-payment; {to} X-Txn: a
+                reset close
+                fin send POST /rent-payment; {to} X-Txn: b
+                fin end
+                c send POST /rent-payment; {to} X-Txn: known
+                c end
+                d send POST /rent-payment; {to} X-Txn: d
+                h1 wait quiet 300
+                relay resume
+                fin expect 503; Retry-After
+                c expect 200
+                d expect 202
+                h1 expect X-Txn: d
+                h1 send 200
+                h1 wait quiet 700
+                """.replace("{to}", TO));
+    }
+
+    /** A health check that ends its sending side is answered all the same. */
+    @Test
+    void aHealthCheckThatHalfClosesIsAnswered() throws Exception {
+        play(folder, """
+                c raw GET /health/ready HTTP/1.1\\r\\nHost: a\\r\\n\\r\\n
+                c end
+                c expect 200
+                """);
+    }
+
     /** A pause longer than any call may take: the answer that lies in the socket counts, not the timer. */
     @Test
     void anAnswerReadAfterItsTimeOutStillCounts() throws Exception {
