Discovery: a version that goes back is another list's, and the complete list is requested

Cause: the answer to a watch with the old version, "nothing newer", moved the version back and left the list as it was; later changes were applied to the wrong list.

Change: an answer with changes only and a lower version is discarded, and the complete list requested at once; the answer to that is believed whatever it says, so that no loop arises. A line in the log names both versions.

Who relied on what is discarded: the changes in that answer, which the complete list holds as well. Discovery gets one call more each time its version goes back.

Test: DiscoveryWatcherTest.aVersionThatGoesBackIsThatOfAnotherList (failed before: asked for changes after 2), and ...IsAskedForOnce.

--- a/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
+++ b/src/main/java/elderseam/frontend/platform/DiscoveryWatcher.java
@@ -1,6 +1,7 @@
 package elderseam.frontend.platform;
 
 import static elderseam.logging.LogField.error;
+import static elderseam.logging.LogField.field;
 
 import elderseam.core.AttemptOutcome.Progress;
 import elderseam.core.AttemptOutcome.Status;
@@ -22,8 +23,9 @@
  * Watches discovery's endpoint list by long polling, with one call in flight at a time. After each response, the next
  * call is sent immediately, before the list is applied. If discovery does not answer a call in time, the call is also
  * repeated immediately, on a new connection, since the list counts as out of date 6 s after discovery's last response.
- * Any other failure is reported to the dispatcher, whose policy decides when to {@link #watch} again. Confined to the
- * I/O thread.
+ * Any other failure is reported to the dispatcher, whose policy decides when to {@link #watch} again. A version that goes
+ * back is that of another process at discovery's address, whose changes say nothing about the list that is known here: its
+ * complete list is requested. Confined to the I/O thread.
  */
 public final class DiscoveryWatcher {
     private static final EventLogger LOG = EventLogger.of(DiscoveryWatcher.class);
@@ -199,10 +201,17 @@
      */
     private void applyResponse(JsonValue list) throws IOException {
         EndpointList.requireReadable(list);
-        version = list.get("version").asLong(version);
+        boolean complete = list.get("full").asBoolean();
+        long newVersion = list.get("version").asLong(version);
+        if (newVersion < version && !complete && !needsCompleteList) {
+            LOG.warn("discovery.version_went_back", field("known", version), field("received", newVersion));
+            needsCompleteList = true;
+            watch();
+            return;
+        }
+        version = newVersion;
         needsCompleteList = false;
         watch();
-        boolean complete = list.get("full").asBoolean();
         ListUpdateKind kind = complete ? ListUpdateKind.COMPLETE : ListUpdateKind.CHANGES;
         dispatcher.updateEndpoints(kind, endpoints.update(list.get("servers"), complete));
         onAnswer.run();
--- a/src/test/java/elderseam/frontend/platform/DiscoveryWatcherTest.java
+++ b/src/test/java/elderseam/frontend/platform/DiscoveryWatcherTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -60,6 +61,33 @@
         return call;
     }
 
+    /** Guards against a list that is kept although another process, with another list, serves at discovery's address. */
+    @Test
+    void aVersionThatGoesBackIsThatOfAnotherList() throws Exception {
+        Call first = nextCall();
+        assertTrue(first.target.contains("after=41"), first.target);
+        io.run(() -> first.answerer.answer(200, Map.of(), "{\"version\":2,\"full\":false,\"servers\":[]}"));
+        Call second = nextCall();
+        assertEquals("/registry/instances", second.target);
+        String other = LIST.replace("h1", "h2").replace("41", "2");
+        io.run(() -> second.answerer.answer(200, Map.of(), other));
+        Call third = nextCall();
+        assertTrue(third.target.contains("after=2"), third.target);
+        assertEquals(List.of("h2"), endpoints.idsOf(1));
+    }
+
+    /** An answer to the request for the complete list is believed, whatever it says: no loop of requests. */
+    @Test
+    void aVersionThatGoesBackIsAskedForOnce() throws Exception {
+        Call first = nextCall();
+        String changes = REMOVAL.replace("42", "2");
+        io.run(() -> first.answerer.answer(200, Map.of(), changes));
+        Call second = nextCall();
+        io.run(() -> second.answerer.answer(200, Map.of(), changes));
+        Call third = nextCall();
+        assertTrue(third.target.contains("after=2"), third.target);
+    }
+
     // Guards against issue 56: a list that can't be read whole moves the version, and the removal in it never comes
     // again.
     @ParameterizedTest
