--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.
-.PHONY: build test lint format style run figures bench engines fuzz long order upgrades
+.PHONY: build test lint format style run figures bench engines fuzz long order upgrades crowds
 
 build:
 	mvn -q -B -DskipTests package
@@ -48,6 +48,7 @@
 	mvn -q -B test -Dtest=DifferentialTest -Drules.cases=100000
 
 # Runs of the order trial with faults from the seeds FIRST to LAST; some 15 s each. upgrades: with moves of discovery and events.
+# crowds: with clients that leave or stall, and large bodies.
 FIRST = 1
 LAST = 50
 order: build
@@ -55,3 +56,6 @@
 
 upgrades: build
 	java -cp target/classes:$$(ls target/lib/*.jar | tr '\n' ':') elderseam.testkit.ordering.UpgradeSoak $(FIRST) $(LAST)
+
+crowds: build
+	java -cp target/classes:$$(ls target/lib/*.jar | tr '\n' ':') elderseam.testkit.ordering.CrowdSoak $(FIRST) $(LAST)
--- a/src/main/java/elderseam/testkit/ordering/OrderSoak.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderSoak.java
@@ -13,9 +13,9 @@
  * what broke. Exits with 1 where anything did.
  */
 public final class OrderSoak {
-    /** What a series is drawn from: all actions but upgrades in which discovery moves, which {@link UpgradeSoak} plays. */
+    /** What a series is drawn from: all actions but those that {@link UpgradeSoak} and {@link CrowdSoak} play. */
     private static final List<Action> ACTIONS = Stream.of(Action.values())
-            .filter(action -> action != Action.HAND_OVER_AND_MOVE)
+            .filter(action -> action.ordinal() < Action.HAND_OVER_AND_MOVE.ordinal())
             .toList();
 
     private static final int MIN_ACTIONS = 3;
--- a/src/main/java/elderseam/testkit/ordering/OrderTrial.java
+++ b/src/main/java/elderseam/testkit/ordering/OrderTrial.java
@@ -34,8 +34,8 @@
     private static final int HANDOVER_LIMIT_MS = 12_000;
     private static final int MAX_DOWN_MS = 700;
     private static final int MAX_PAUSE_MS = 600;
+    private static final int ARRIVAL_MS = 50;
     private static final int MAX_GAP_MS = 900;
-    private static final int CROWD_CONNECTIONS = 60;
     private static final int HOUR_S = 3_600;
     private static final int MAX_SMALL_STEP_S = 10;
 
@@ -60,7 +60,11 @@
         /** The wall clock is stepped by some seconds, either way. */
         STEP_CLOCK_BY_SECONDS,
         /** A second process takes over; meanwhile discovery moves, and the older process gets SIGHUP, if it still lives. */
-        HAND_OVER_AND_MOVE
+        HAND_OVER_AND_MOVE,
+        /** SIGSTOP, clients that send whole messages and leave, and SIGCONT. */
+        LEAVE_UNREAD,
+        /** Clients stop within heads of many fields and within large bodies, and stay connected. */
+        STALL_WITHIN_REQUESTS
     }
 
     /**
@@ -89,7 +93,7 @@
 
     /** Actions during which a process that lives on does not act for a while. */
     private static final Set<Action> UNREADY_ACTIONS =
-            EnumSet.of(Action.PAUSE, Action.HAND_OVER, Action.HAND_OVER_AND_MOVE);
+            EnumSet.of(Action.PAUSE, Action.LEAVE_UNREAD, Action.HAND_OVER, Action.HAND_OVER_AND_MOVE);
 
     private static final int MAX_ADDRESS_BYTE = 250;
 
@@ -109,6 +113,7 @@
     private final RestartWindows restarts = new RestartWindows();
     private final ProcessLog log;
     private final MovingPlatform platforms;
+    private final AbandoningClients abandoningClients;
     private final EventTraffic events; // null where there are no senders
     private ServedProcess process;
     private ServedProcess older; // of the last upgrade; null before
@@ -121,6 +126,7 @@
         open.add(new ObserverStalls(log));
         InetAddress own = ownAddress(random.nextInt(MAX_ADDRESS_BYTE));
         dispatcherAddress = new InetSocketAddress(own, LISTEN_PORT);
+        abandoningClients = new AbandoningClients(dispatcherAddress);
         CopiedAnswers copies = startCopies(surroundings, seed);
         platforms = new MovingPlatform(own, history, surroundings, copies, folder.resolve("config.json"));
         open.add(platforms);
@@ -271,7 +277,14 @@
                 Thread.sleep(random.nextInt(1, MAX_PAUSE_MS));
                 process.signal("CONT");
             }
-            case CROWD -> crowd();
+            case CROWD -> abandoningClients.connect(open);
+            case LEAVE_UNREAD -> {
+                process.signal("STOP");
+                abandoningClients.sendAndLeave();
+                Thread.sleep(random.nextInt(ARRIVAL_MS, MAX_PAUSE_MS)); // until all of it has arrived
+                process.signal("CONT");
+            }
+            case STALL_WITHIN_REQUESTS -> abandoningClients.stall(open);
             case STEP_CLOCK_AHEAD -> stepClock(HOUR_S);
             case STEP_CLOCK_BACK -> stepClock(-HOUR_S);
             case STEP_CLOCK_BY_SECONDS -> stepClock(random.nextInt(-MAX_SMALL_STEP_S, MAX_SMALL_STEP_S + 1));
@@ -315,16 +328,6 @@
         }
     }
 
-    private void crowd() {
-        for (int i = 0; i < CROWD_CONNECTIONS; i++) {
-            try {
-                open.add(HttpConnection.connect(dispatcherAddress, 100));
-            } catch (IOException e) {
-                return; // refused: as many as may be
-            }
-        }
-    }
-
     /** Waits until the clients are through, and until all that was accepted is over. */
     private void finish(TrialLoad load) throws InterruptedException {
         for (Thread thread : clientThreads) {
--- a/src/main/java/elderseam/testkit/ordering/TrialClient.java
+++ b/src/main/java/elderseam/testkit/ordering/TrialClient.java
@@ -116,11 +116,16 @@
         return messageClass.isOrdered() ? name : id;
     }
 
+    private String body() {
+        return load.maxBodyBytes() == 0 ? BODY : BODY.repeat(1 + random.nextInt(load.maxBodyBytes()) / BODY.length());
+    }
+
     private String request(String id, long remainingMs) {
+        String body = body();
         return "POST " + messageClass.path() + "?thread=" + keyOf(id) + " HTTP/1.1\r\nHost: t\r\nX-Txn: " + id
                 + "\r\nX-Remaining: " + remainingMs + "m\r\nX-Addressing: dest=" + destination + "\r\nContent-Length: "
-                + BODY.length()
-                + "\r\n\r\n" + BODY;
+                + body.length()
+                + "\r\n\r\n" + body;
     }
 
     private void disconnect() {
--- a/src/main/java/elderseam/testkit/ordering/TrialLoad.java
+++ b/src/main/java/elderseam/testkit/ordering/TrialLoad.java
@@ -9,6 +9,7 @@
  * @param maxPauseMs between two messages of a client
  * @param minRemainingMs the shortest time that a message has
  * @param eventSenders senders of CloudEvents, who give up early and ask again; the front for events is off without any
+ * @param maxBodyBytes the largest body of a message; 0 for small bodies alone
  */
 public record TrialLoad(
         int keys,
@@ -17,8 +18,21 @@
         int maxPauseMs,
         int minRemainingMs,
         int maxRemainingMs,
-        int eventSenders) {
-    /** A load without events. */
+        int eventSenders,
+        int maxBodyBytes) {
+    /** A load of small bodies. */
+    public TrialLoad(
+            int keys,
+            int unorderedClients,
+            int messagesPerClient,
+            int maxPauseMs,
+            int minRemainingMs,
+            int maxRemainingMs,
+            int eventSenders) {
+        this(keys, unorderedClients, messagesPerClient, maxPauseMs, minRemainingMs, maxRemainingMs, eventSenders, 0);
+    }
+
+    /** A load of small bodies, without events. */
     public TrialLoad(
             int keys,
             int unorderedClients,
